--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cottonrail/balance"
+	"coralrelay/balance"
 )
 
 // A balancer that links the library hands it what happens and carries out
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,8 +11,8 @@
 	"os"
 	"runtime/debug"
 
-	"cottonrail/balance"
-	"cottonrail/internal/wire"
+	"coralrelay/balance"
+	"coralrelay/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"cottonrail/balance"
+	"coralrelay/balance"
 )
 
 // env is the settings object of an Init. Unknown fields are passed over.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"cottonrail/balance"
+	"coralrelay/balance"
 )
 
 // Delivery is one event of a batch for one instance: a start, a stop or, where
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cottonrail/balance"
+	"coralrelay/balance"
 )
 
 const ms = time.Millisecond
