--- /dev/null
+++ b/cmd/coralrelay/main.go
@@ -0,0 +1,116 @@
+// Command coralrelay is one node: it takes callers' connections, has the
+// decision module choose a next hop for each, and relays until either side ends.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/config"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+)
+
+const (
+	// spareSockets are kept for the listener, discovery, probes and callers
+	// that are given a busy answer.
+	spareSockets = 128
+	// probeWait is how long a probe may take: longer than a busy next hop
+	// needs, shorter than the module waits before it asks again.
+	probeWait = 500 * time.Millisecond
+	// longestDrain and afterDrain: a planned restart leaves the longest
+	// deadline, at most longestDrain, and 0.7 s. What stays of that is room.
+	longestDrain = 3 * time.Second
+	afterDrain   = 400 * time.Millisecond
+)
+
+func main() {
+	if err := run(); err != nil {
+		slog.Error("coralrelay", "err", err)
+		os.Exit(1)
+	}
+}
+
+// fleet passes a list on: first the addresses, then the decision.
+type fleet struct {
+	hops *nexthop.Hops
+	core *decide.Core
+}
+
+func (f *fleet) Listed(u roster.Update) {
+	if u.Kind != balance.ListFailed {
+		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
+	}
+	f.core.Listed(u.List())
+}
+
+func run() error {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	clock := decide.NewClock()
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	limit(c.Limits)
+	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	hops := nexthop.New(ctx, nexthop.Limits{Connect: c.Settings.Limits.ConnectTimeout, Probe: probeWait,
+		Drain: c.Settings.Rules.DrainGrace})
+	lists := &fleet{hops: hops}
+	watch := roster.New(c.Discovery, lists)
+	core, err := decide.New(clock, c.Seed, c.Settings, hops, watch)
+	if err != nil {
+		return err
+	}
+	lists.core = core
+	hops.Watch(core)
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := caller.New(core, (c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))/2)
+	go core.Run(ctx)
+	go watch.Run(ctx, c.Known)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
+
+	select {
+	case err := <-served:
+		return err
+	case <-terminate.Done():
+	}
+	begun := time.Now()
+	longest := time.Duration(0)
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	longest = min(longest, longestDrain)
+	slog.Info("draining", "longest", longest)
+	server.Drain(begun.Add(longest), begun.Add(longest+afterDrain))
+	slog.Info("drained", "took", time.Since(begun))
+	_ = listener.Close()
+	return <-served
+}
+
+// limit keeps the process within its machine.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	// The rest is for stacks' growth, the kernel's share and the binary.
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,144 @@
+// Package caller is the clients' side: it listens, answers PING, reads first
+// lines and gives each caller leg to its transaction.
+package caller
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+	"coralrelay/internal/line"
+)
+
+const (
+	// firstLine is how long a caller may take to send its first line.
+	firstLine = 10 * time.Second
+	// margin is kept back from a caller's deadline: its clock started when it
+	// sent the line, and the answer still has to reach it.
+	margin = 25 * time.Millisecond
+	// writing is how long a short answer may block.
+	writing = time.Second
+)
+
+// Decider takes transactions; each is then owed one final answer.
+type Decider interface {
+	exchange.Watcher
+	Submit(t *exchange.Transaction)
+}
+
+// Server serves callers.
+type Server struct {
+	decider Decider
+	most    int // transactions at once; beyond it a busy answer
+
+	mu       sync.Mutex
+	draining bool
+	running  map[*exchange.Transaction]struct{}
+	legs     map[net.Conn]struct{}
+	wg       sync.WaitGroup
+}
+
+// New returns a Server that holds at most so many transactions.
+func New(d Decider, most int) *Server {
+	return &Server{decider: d, most: most, running: map[*exchange.Transaction]struct{}{},
+		legs: map[net.Conn]struct{}{}}
+}
+
+// Serve accepts callers until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			s.wg.Go(func() { s.serve(conn) })
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default: // out of sockets, most likely: others must end first
+			slog.Error("accept", "err", err)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// serve reads first lines until one opens a connection.
+func (s *Server) serve(conn net.Conn) {
+	l := leg.New(conn)
+	s.hold(conn, true)
+	defer s.hold(conn, false) // a transaction closes its leg itself
+	for {
+		text, err := l.ReadText(time.Now().Add(firstLine))
+		switch {
+		case err != nil && len(text) == 0:
+			l.Release() // gone without a word
+			return
+		case err != nil:
+			s.reject(l, err)
+			return
+		case string(text) == line.Ping:
+			if err := l.WriteText(line.Pong, time.Now().Add(writing)); err != nil {
+				l.Release()
+				return
+			}
+			continue
+		}
+		open, err := line.ParseOpen(text)
+		if err != nil {
+			s.reject(l, err)
+			return
+		}
+		s.open(l, open)
+		return
+	}
+}
+
+// open runs a transaction to its end.
+func (s *Server) open(l *leg.Leg, o line.Open) {
+	_ = l.SetReadDeadline(time.Time{})
+	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, At: o.At,
+		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(o.Wait - margin)},
+		&o, line.Front{}, s.decider, l)
+	if s.admit(t) {
+		s.decider.Submit(t)
+	} else {
+		t.Refuse(0)
+	}
+	t.Run()
+	s.mu.Lock()
+	delete(s.running, t)
+	s.mu.Unlock()
+}
+
+// admit tells whether there is room for t. While the node drains there is none.
+func (s *Server) admit(t *exchange.Transaction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || len(s.running) >= s.most {
+		return false
+	}
+	s.running[t] = struct{}{}
+	return true
+}
+
+// reject answers a first line that is none, and ends the leg.
+func (s *Server) reject(l *leg.Leg, err error) {
+	slog.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
+	_ = l.WriteText(line.Error, time.Now().Add(writing))
+	l.FinishWrites()
+	_ = l.SetReadDeadline(time.Now().Add(writing / 4))
+	l.Drain()
+	l.Release()
+}
+
+func (s *Server) hold(conn net.Conn, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.legs[conn] = struct{}{}
+	} else {
+		delete(s.legs, conn)
+	}
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,166 @@
+// Package exchange holds the transaction: the one object in which the caller's
+// side and the next hop's side meet. It keeps the promise of one final answer,
+// exactly once, and after UP relays lines both ways until either side ends.
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coralrelay/internal/leg"
+)
+
+// Request is what a front tells of a transaction when it starts.
+type Request struct {
+	ID, Class, Key, Group string
+	At                    string // the next hop that already holds it; empty if none
+	Hint                  float64
+	Retry, Returned       bool
+	Deadline              time.Time // the final answer must be out by then
+}
+
+// Opening words the first line for a next hop.
+type Opening interface {
+	Forward(now, deadline time.Time) string
+}
+
+// Notice is what a next hop's line after UP says.
+type Notice int
+
+// The notices.
+const (
+	NoticeOther Notice = iota
+	NoticeLoad
+	NoticeMove
+	NoticeBye
+)
+
+// Front words what the exchange says to its caller, and reads what passes.
+type Front interface {
+	Busy(pause time.Duration) string
+	Failed() string
+	Move() string
+	Notice(line []byte) (Notice, float64)
+}
+
+// End is how a connection that stood has ended.
+type End int
+
+// The ends.
+const (
+	Served     End = iota // the next hop said so
+	Moved                 // the caller was asked to come again, by either of us
+	Broken                // the next hop broke it off
+	Silent                // the next hop stopped answering
+	CallerLeft            // the caller ended it
+)
+
+// Watcher is told what becomes of a transaction. Its methods must not wait for
+// the transaction.
+type Watcher interface {
+	CallerGone(t *Transaction)                   // while it waited for its answer
+	Ended(t *Transaction, how End)               // after UP; both legs are closed
+	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer
+	Loaded(t *Transaction, load float64)         // a load note passed
+}
+
+// answer is what the deciding side hands to the caller's side.
+type answer struct {
+	line string
+	hop  *leg.Leg // set if the line is a next hop's UP
+}
+
+// Transaction is one request and the connection it becomes.
+type Transaction struct {
+	Request
+	Opening
+
+	front  Front
+	watch  Watcher
+	caller *leg.Leg
+
+	ctx    context.Context // ends when the caller has left or is answered
+	cancel context.CancelFunc
+	final  chan answer // holds the one final answer
+
+	mu      sync.Mutex
+	settled bool      // a final answer was given, or the caller has left
+	gone    bool      // the caller has left
+	hop     *leg.Leg  // after UP
+	moving  bool      // a MOVE is wanted
+	pending time.Time // when the oldest unanswered line of the caller went on
+}
+
+// New returns a transaction for a request that came on the caller leg.
+func New(r Request, o Opening, f Front, w Watcher, caller *leg.Leg) *Transaction {
+	t := &Transaction{Request: r, Opening: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	return t
+}
+
+// Context ends when no branch is wanted any more: the caller has left, or the
+// final answer was given.
+func (t *Transaction) Context() context.Context { return t.ctx }
+
+// settle gives the final answer, unless there is one or the caller has left.
+func (t *Transaction) settle(a answer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.settled {
+		return false
+	}
+	t.settled = true
+	t.hop = a.hop
+	t.final <- a
+	t.cancel()
+	return true
+}
+
+// Refuse gives the busy answer.
+func (t *Transaction) Refuse(pause time.Duration) bool {
+	return t.settle(answer{line: t.front.Busy(pause)})
+}
+
+// Fail gives the answer that promises nothing.
+func (t *Transaction) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
+
+// Up hands over a next hop's UP line and its leg, which now belongs to the
+// exchange. It is false if the transaction is over; the leg then stays with
+// the branch.
+func (t *Transaction) Up(line string, hop *leg.Leg) bool {
+	return t.settle(answer{line: line, hop: hop})
+}
+
+// Move asks the caller to come again. Before UP it does nothing.
+func (t *Transaction) Move() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hop != nil {
+		t.moving = true
+		t.hop.Wake()
+	}
+}
+
+// leave is called when the caller's leg has ended.
+func (t *Transaction) leave() {
+	t.mu.Lock()
+	first := !t.settled
+	t.settled, t.gone = true, true
+	if t.hop != nil {
+		t.hop.Wake()
+	}
+	t.mu.Unlock()
+	if first {
+		t.cancel()
+		close(t.final)
+		t.watch.CallerGone(t)
+	}
+}
+
+// Standing tells whether the connection is up.
+func (t *Transaction) Standing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hop != nil
+}
--- /dev/null
+++ b/internal/exchange/relay.go
@@ -0,0 +1,173 @@
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"os"
+	"time"
+
+	"coralrelay/internal/leg"
+)
+
+const (
+	// silence is how long a next hop may leave a caller's line unanswered
+	// before the caller is moved. Callers write every 2 s and a dead connection
+	// must be left within 7 s, so this leaves room for a late line.
+	silence = 3500 * time.Millisecond
+	// stall is how long one write may block on a slow reader. Nothing is read
+	// from the other side meanwhile, so memory does not grow.
+	stall = 5 * time.Second
+	// linger is how long a caller that has its last line may take to end.
+	linger = 250 * time.Millisecond
+)
+
+// Run serves the caller leg to its end: the final answer, and after UP the
+// relay. It returns when both legs are closed.
+func (t *Transaction) Run() {
+	done := make(chan struct{})
+	go func() { // ends with the caller leg, which is closed below
+		defer close(done)
+		t.readCaller()
+	}()
+	a, answered := <-t.final
+	switch {
+	case !answered: // the caller has left
+	case a.hop == nil:
+		_ = t.caller.WriteText(a.line, time.Now().Add(stall))
+		t.caller.FinishWrites()
+	default:
+		how := t.relay(a)
+		a.hop.Release()
+		t.watch.Ended(t, how)
+	}
+	// The reader still runs: it drops what the caller writes, so that the
+	// close does not reset the connection under the last line.
+	_ = t.caller.SetReadDeadline(time.Now().Add(linger))
+	<-done
+	t.caller.Release()
+}
+
+// readCaller notices that the caller leaves and, after UP, passes its lines on.
+func (t *Transaction) readCaller() {
+	if _, err := t.caller.R.Peek(1); err != nil {
+		t.leave()
+		return
+	}
+	<-t.ctx.Done() // early lines wait here for the answer, at most a buffer of them
+	t.mu.Lock()
+	hop := t.hop
+	t.mu.Unlock()
+	if hop == nil || t.forward(hop) {
+		t.leave()
+	}
+	// The next hop has ended: the relay sees it too and bounds this read.
+	t.caller.Drain()
+}
+
+// forward passes the caller's lines on until either side ends. It tells whether
+// it was the caller.
+func (t *Transaction) forward(hop *leg.Leg) bool {
+	for {
+		line, err := t.caller.ReadRaw()
+		if len(line) > 0 {
+			if _, werr := hop.Conn.Write(line); werr != nil {
+				return false
+			}
+			t.sent(hop)
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return true
+		}
+	}
+}
+
+// sent notes that a line of the caller's waits for the next hop's answer.
+func (t *Transaction) sent(hop *leg.Leg) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pending.IsZero() && !t.moving && !t.gone {
+		t.pending = time.Now()
+		_ = hop.SetReadDeadline(t.pending.Add(silence))
+	}
+}
+
+// heard notes that the next hop has answered and how long it took.
+func (t *Transaction) heard(hop *leg.Leg) {
+	t.mu.Lock()
+	since := t.pending
+	t.pending = time.Time{}
+	if !since.IsZero() && !t.moving && !t.gone {
+		_ = hop.SetReadDeadline(time.Time{})
+	}
+	t.mu.Unlock()
+	if !since.IsZero() {
+		t.watch.Delayed(t, time.Since(since))
+	}
+}
+
+// relay passes the next hop's lines on, starting with its UP, until either side
+// ends or the caller is to move. Only whole lines are written, so MOVE always
+// stands between two.
+func (t *Transaction) relay(a answer) End {
+	if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
+		return t.cut(a.hop, CallerLeft)
+	}
+	how := Broken
+	for {
+		line, err := a.hop.ReadRaw()
+		if err != nil {
+			return t.finish(a.hop, how, err)
+		}
+		switch kind, x := t.front.Notice(line); kind {
+		case NoticeLoad:
+			t.watch.Loaded(t, x)
+		case NoticeMove:
+			how = Moved
+		case NoticeBye:
+			how = Served
+		default:
+			t.heard(a.hop)
+		}
+		if _, err := t.caller.W.Write(line); err != nil {
+			return t.cut(a.hop, CallerLeft)
+		}
+		if !a.hop.HasLine() {
+			if err := t.caller.Flush(time.Now().Add(stall)); err != nil {
+				return t.cut(a.hop, CallerLeft)
+			}
+		}
+	}
+}
+
+// finish ends both sides after the next hop's leg could not be read further.
+func (t *Transaction) finish(hop *leg.Leg, how End, err error) End {
+	t.mu.Lock()
+	moving, gone := t.moving, t.gone
+	t.mu.Unlock()
+	switch {
+	case gone:
+		return t.cut(hop, CallerLeft)
+	case how != Broken: // its last line has gone on
+	case moving:
+		how = Moved
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		how = Silent
+	case errors.Is(err, io.EOF):
+	default:
+		t.caller.Abort() // reset, as its next hop was
+		return t.cut(hop, Broken)
+	}
+	_ = hop.Close()
+	if how == Silent || moving && how == Moved {
+		_ = t.caller.WriteText(t.front.Move(), time.Now().Add(stall))
+	}
+	t.caller.FinishWrites()
+	return how
+}
+
+// cut ends the next hop's side at once.
+func (t *Transaction) cut(hop *leg.Leg, how End) End {
+	_ = hop.Close()
+	return how
+}
--- /dev/null
+++ b/internal/leg/leg.go
@@ -0,0 +1,124 @@
+// Package leg wraps one connection of a transaction: the caller leg or the leg
+// to a next hop. It stands on net/textproto; its buffers have one size, the
+// longest line, and come from one pool.
+package leg
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/textproto"
+	"sync"
+	"time"
+)
+
+// Size is the longest line and the size of every buffer.
+const Size = 4096
+
+var buffers = sync.Pool{New: func() any {
+	return bufio.NewReadWriter(bufio.NewReaderSize(nil, Size), bufio.NewWriterSize(nil, Size))
+}}
+
+// past is a read deadline that wakes a reader at once.
+var past = time.Unix(1, 0)
+
+// Leg is one connection with its buffers. One goroutine at a time may read and
+// one may write; Close and SetReadDeadline may come from any.
+type Leg struct {
+	net.Conn
+	textproto.Reader
+	textproto.Writer
+	pooled *bufio.ReadWriter
+}
+
+// New returns a Leg on conn that holds buffers until Release.
+func New(conn net.Conn) *Leg {
+	b := buffers.Get().(*bufio.ReadWriter)
+	b.Reader.Reset(conn)
+	b.Writer.Reset(conn)
+	return &Leg{Conn: conn, Reader: textproto.Reader{R: b.Reader}, Writer: textproto.Writer{W: b.Writer}, pooled: b}
+}
+
+// ReadRaw returns the next line with its end, valid until the next read. It
+// stands in for textproto's ReadLine, which takes a line cut off by the end of
+// the connection for a whole one and reads an endless one until memory is out:
+// here the first is io.EOF, the second bufio.ErrBufferFull.
+func (l *Leg) ReadRaw() ([]byte, error) { return l.R.ReadSlice('\n') }
+
+// ReadText returns the next line without its end, read before the deadline. With
+// an error comes what there was of the line.
+func (l *Leg) ReadText(deadline time.Time) ([]byte, error) {
+	if err := l.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	line, err := l.ReadRaw()
+	return bytes.TrimRight(line, "\r\n"), err
+}
+
+// WriteText writes a line and its end before the deadline.
+func (l *Leg) WriteText(line string, deadline time.Time) error {
+	if err := l.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return l.PrintfLine("%s", line)
+}
+
+// Flush writes what is buffered before the deadline.
+func (l *Leg) Flush(deadline time.Time) error {
+	if err := l.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return l.W.Flush()
+}
+
+// HasLine tells whether a whole line is buffered, so that reading it won't wait.
+func (l *Leg) HasLine() bool {
+	n := l.R.Buffered()
+	if n == 0 {
+		return false
+	}
+	b, _ := l.R.Peek(n)
+	return bytes.IndexByte(b, '\n') >= 0
+}
+
+// Wake ends a read that is waiting.
+func (l *Leg) Wake() { _ = l.SetReadDeadline(past) }
+
+// Abort closes the connection with a reset, as its other side was.
+func (l *Leg) Abort() {
+	if tcp, ok := l.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = l.Close()
+}
+
+// FinishWrites ends the sending half, so that what was written arrives although
+// unread lines of the other side would turn a plain close into a reset.
+func (l *Leg) FinishWrites() {
+	if tcp, ok := l.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+// Drain reads and drops until the other side ends or the read deadline has come,
+// so that unread lines don't turn the close into a reset.
+func (l *Leg) Drain() {
+	for {
+		if _, err := l.R.Discard(max(1, l.R.Buffered())); err != nil {
+			return
+		}
+	}
+}
+
+// Release closes the connection and gives the buffers back. Nobody may read or
+// write any more.
+func (l *Leg) Release() {
+	_ = l.Close()
+	if l.pooled == nil {
+		return
+	}
+	l.pooled.Reader.Reset(nil)
+	l.pooled.Writer.Reset(nil)
+	buffers.Put(l.pooled)
+	l.pooled = nil
+}
--- /dev/null
+++ b/internal/line/front.go
@@ -0,0 +1,43 @@
+package line
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"coralrelay/internal/exchange"
+)
+
+// Front words a transaction's final answers in the platform's protocol and
+// notices what a relayed line says.
+type Front struct{}
+
+// Busy is the busy answer, with the pause that is asked of the caller.
+func (Front) Busy(pause time.Duration) string {
+	if ms := pause.Milliseconds(); ms > 0 {
+		return "BUSY " + strconv.FormatInt(ms, 10)
+	}
+	return "BUSY"
+}
+
+// Failed is the answer that promises nothing.
+func (Front) Failed() string { return Error }
+
+// Move asks the caller to come again.
+func (Front) Move() string { return Move }
+
+// Notice tells what a next hop's line after UP says.
+func (Front) Notice(text []byte) (exchange.Notice, float64) {
+	text = bytes.TrimRight(text, "\r\n")
+	switch {
+	case bytes.HasPrefix(text, []byte("LOAD ")):
+		if x, err := number(string(text[len("LOAD "):])); err == nil {
+			return exchange.NoticeLoad, x
+		}
+	case bytes.Equal(text, []byte(Move)):
+		return exchange.NoticeMove, 0
+	case bytes.Equal(text, []byte("BYE")), bytes.HasPrefix(text, []byte("BYE ")):
+		return exchange.NoticeBye, 0
+	}
+	return exchange.NoticeOther, 0
+}
--- /dev/null
+++ b/internal/line/line.go
@@ -0,0 +1,206 @@
+// Package line is the platform's protocol and nothing else: first lines, final
+// answers, load reports. It decides nothing and does no I/O.
+package line
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"coralrelay/balance"
+)
+
+// The words of the protocol.
+const (
+	Ping  = "PING"
+	Pong  = "PONG"
+	Stats = "STATS"
+	Error = "ERR"
+	Move  = "MOVE"
+)
+
+// longestWait bounds d; beyond it a duration would overflow.
+const longestWait = 24 * time.Hour
+
+// Open is a first line that opens a connection.
+type Open struct {
+	ID, Key, Class, Group, At string
+	Wait                      time.Duration // d: how long the caller waits for UP
+	Hint                      float64
+	Retry, Again              bool
+	head, tail                string // the line as it came, before and after d's value
+}
+
+// ParseOpen reads a first line. The line may only hold printable ASCII.
+func ParseOpen(text []byte) (Open, error) {
+	for _, c := range text {
+		if c < ' ' || c > '~' {
+			return Open{}, fmt.Errorf("first line: byte %#x", c)
+		}
+	}
+	s := string(text)
+	words := strings.Split(s, " ")
+	if len(words) != 4 || words[0] != "OPEN" || words[1] == "" || words[2] == "" {
+		return Open{}, errors.New("first line: want OPEN, id, key and a list of values")
+	}
+	o := Open{ID: words[1], Key: words[2]}
+	at := len(s) - len(words[3])
+	for pair := range strings.SplitSeq(words[3], ",") {
+		name, value, ok := strings.Cut(pair, "=")
+		if !ok || name == "" {
+			return Open{}, fmt.Errorf("first line: %.40q is no name and value", pair)
+		}
+		if err := o.set(name, value); err != nil {
+			return Open{}, fmt.Errorf("first line: %s: %w", name, err)
+		}
+		if name == "d" {
+			o.head, o.tail = s[:at+2], s[at+len(pair):]
+		}
+		at += len(pair) + 1
+	}
+	if o.Class == "" || o.head == "" {
+		return Open{}, errors.New("first line: c or d is missing")
+	}
+	return o, nil
+}
+
+func (o *Open) set(name, value string) error {
+	switch name {
+	case "c":
+		o.Class = value
+	case "g":
+		o.Group = value
+	case "at":
+		o.At = value
+	case "r":
+		o.Retry = value == "1"
+	case "again":
+		o.Again = value == "1"
+	case "h":
+		h, err := number(value)
+		o.Hint = h
+		return err
+	case "d":
+		if o.head != "" || o.Wait != 0 {
+			return errors.New("given twice")
+		}
+		ms, err := number(value)
+		if err != nil {
+			return err
+		}
+		if ms < 0 || ms > float64(longestWait/time.Millisecond) {
+			return fmt.Errorf("%.40q is out of range", value)
+		}
+		o.Wait = time.Duration(ms * float64(time.Millisecond))
+	}
+	return nil // further figures go on as they are
+}
+
+// number reads a finite number.
+func number(s string) (float64, error) {
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0, fmt.Errorf("%.40q is no number", s)
+	}
+	return f, nil
+}
+
+// Forward returns the line for a next hop: as it came, but for d, which tells
+// the time that is left.
+func (o *Open) Forward(now, deadline time.Time) string {
+	left := max(deadline.Sub(now).Milliseconds(), 0)
+	return o.head + strconv.FormatInt(left, 10) + o.tail
+}
+
+// Reply is a next hop's first answer.
+type Reply int
+
+// The replies. Anything else is Malformed.
+const (
+	Malformed Reply = iota
+	Up
+	Busy
+	Err
+	Bye
+	Moved
+)
+
+// ParseReply reads a next hop's first answer and, where it ends with one, its
+// load report.
+func ParseReply(text []byte) (Reply, balance.Load) {
+	word, rest, _ := bytes.Cut(text, []byte(" "))
+	switch string(word) {
+	case "UP":
+		if len(rest) > 0 {
+			return Up, balance.NoLoad
+		}
+	case "BUSY":
+		return Busy, reportOrNone(rest)
+	case Error:
+		return Err, reportOrNone(rest)
+	case "BYE":
+		return Bye, reportOrNone(rest)
+	case Move:
+		return Moved, balance.NoLoad
+	}
+	return Malformed, balance.NoLoad
+}
+
+func reportOrNone(rest []byte) balance.Load {
+	l, err := ParseReport(rest)
+	if err != nil {
+		return balance.NoLoad
+	}
+	return l
+}
+
+// ParseStats reads the answer to STATS.
+func ParseStats(text []byte) (balance.Load, error) {
+	word, rest, _ := bytes.Cut(text, []byte(" "))
+	if string(word) != Pong {
+		return balance.NoLoad, fmt.Errorf("stats: %.40q is no %s", text, Pong)
+	}
+	return ParseReport(rest)
+}
+
+// ParseReport reads a load report. The names are those on the sockets, which
+// differ from the ones in the settings: inflight there is outstanding here.
+func ParseReport(text []byte) (balance.Load, error) {
+	l := balance.NoLoad
+	if len(text) == 0 {
+		return l, nil
+	}
+	for pair := range bytes.SplitSeq(text, []byte(",")) {
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok {
+			return balance.NoLoad, fmt.Errorf("load report: %.40q is no name and value", pair)
+		}
+		v, err := number(string(value))
+		if err != nil || v < 0 {
+			return balance.NoLoad, fmt.Errorf("load report: %s: %.40q is no load", name, value)
+		}
+		switch string(name) {
+		case "inflight":
+			l.Inflight = v
+		case "queue":
+			l.Queue = v
+		case "util":
+			l.Util = v
+		case "latency_ms":
+			l.Latency = v
+		case "qps":
+			l.QPS = v
+		case "eps":
+			l.EPS = v
+		case "x0":
+			l.X0 = v
+		case "x1":
+			l.X1 = v
+		}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/nexthop/nexthop.go
@@ -0,0 +1,228 @@
+// Package nexthop is the side of the feed servers: it makes branches, one
+// connection each, and probes over one kept connection to each next hop.
+package nexthop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+	"coralrelay/internal/line"
+	"coralrelay/internal/roster"
+)
+
+// Watcher is told what becomes of branches and probes. A branch's socket is
+// closed, or the exchange's, by then.
+type Watcher interface {
+	BranchUp(t *exchange.Transaction, attempt int, server string, latency time.Duration)
+	BranchEnded(t *exchange.Transaction, attempt int, server string, outcome balance.Outcome,
+		latency time.Duration, load balance.Load)
+	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
+}
+
+// Limits bound what is spent on a next hop.
+type Limits struct {
+	Connect time.Duration // a connection not made within this could not be made
+	Probe   time.Duration // a probe not answered within this has timed out
+	Drain   time.Duration // sends end this long after a drain was told
+}
+
+// Hops knows the next hops and their addresses. Its methods never block on a
+// socket.
+type Hops struct {
+	ctx    context.Context // ends every probe connection
+	limits Limits
+	watch  Watcher
+
+	mu   sync.Mutex
+	hops map[string]*hop
+}
+
+// hop is one next hop.
+type hop struct {
+	id string
+
+	mu      sync.Mutex
+	addr    string
+	leaving time.Time // when the roster told that it drains or is gone; zero if not
+
+	probes chan struct{} // a probe is wanted
+	cancel context.CancelFunc
+}
+
+// New returns Hops without any next hop; their probe connections end with ctx.
+func New(ctx context.Context, l Limits) *Hops {
+	return &Hops{ctx: ctx, limits: l, hops: map[string]*hop{}}
+}
+
+// Watch names who is told; call it before anything is started.
+func (h *Hops) Watch(w Watcher) { h.watch = w }
+
+// Update takes what the roster has told.
+func (h *Hops) Update(full bool, entries []roster.Entry, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		p := h.hops[e.ID]
+		if p == nil {
+			p = &hop{id: e.ID, probes: make(chan struct{}, 1)}
+			h.hops[e.ID] = p
+			var ctx context.Context
+			ctx, p.cancel = context.WithCancel(h.ctx)
+			go h.probeLoop(ctx, p)
+		}
+		p.set(e.Addr, e.State != balance.Ready, now)
+		if e.State == balance.Gone {
+			h.drop(p)
+		}
+	}
+	for id, p := range h.hops {
+		if full && !listed[id] {
+			p.set("", true, now)
+			h.drop(p)
+		}
+	}
+}
+
+// drop ends a next hop that is gone. Branches that hold it still see that it
+// is leaving.
+func (h *Hops) drop(p *hop) {
+	p.cancel()
+	delete(h.hops, p.id)
+}
+
+func (h *Hops) get(id string) *hop {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hops[id]
+}
+
+func (p *hop) set(addr string, leaving bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr != "" {
+		p.addr = addr
+	}
+	switch {
+	case !leaving:
+		p.leaving = time.Time{}
+	case p.leaving.IsZero():
+		p.leaving = now
+	}
+}
+
+func (p *hop) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr
+}
+
+// mayTake tells whether a first line may still go there.
+func (p *hop) mayTake(now time.Time, grace time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving.IsZero() || now.Before(p.leaving.Add(grace))
+}
+
+// ---- branches ----
+
+// branch is one attempt of a transaction.
+type branch struct {
+	hops     *Hops
+	t        *exchange.Transaction
+	hop      *hop
+	deadline time.Time
+}
+
+// Start starts a branch; it ends with its transaction's context or at the
+// deadline, and is told to the watcher.
+func (h *Hops) Start(t *exchange.Transaction, attempt int, server string, deadline time.Time) {
+	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
+	go func() {
+		begun := time.Now()
+		up, outcome, load := b.run()
+		latency := time.Since(begun)
+		if up {
+			h.watch.BranchUp(t, attempt, server, latency)
+			return
+		}
+		h.watch.BranchEnded(t, attempt, server, outcome, latency, load)
+	}()
+}
+
+// run makes the attempt. Unless it is up, its socket is closed on return.
+func (b *branch) run() (up bool, outcome balance.Outcome, load balance.Load) {
+	if b.hop == nil {
+		return false, balance.ConnectFailed, balance.NoLoad
+	}
+	conn, err := b.hops.dial(b.t.Context(), b.hop.address(), b.deadline)
+	if err != nil {
+		return false, balance.ConnectFailed, balance.NoLoad
+	}
+	l := leg.New(conn)
+	stop := context.AfterFunc(b.t.Context(), func() { _ = conn.Close() })
+	up, outcome, load = b.offer(l, stop)
+	if !up {
+		stop()
+		l.Release()
+	}
+	return up, outcome, load
+}
+
+// offer writes the first line and waits for the answer.
+func (b *branch) offer(l *leg.Leg, stop func() bool) (bool, balance.Outcome, balance.Load) {
+	now := time.Now()
+	// A dial may take longer than a drain leaves: what was told meanwhile
+	// counts, so it is looked at again just before the first byte.
+	if b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Drain/2) {
+		return false, balance.ConnectFailed, balance.NoLoad
+	}
+	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
+		return false, balance.ConnectFailed, balance.NoLoad // its last byte was not written
+	}
+	text, err := l.ReadText(b.deadline)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return false, balance.TimedOut, balance.NoLoad
+	case err != nil:
+		return false, balance.Reset, balance.NoLoad
+	}
+	reply, load := line.ParseReply(text)
+	switch reply {
+	case line.Up:
+		_ = l.SetReadDeadline(time.Time{})
+		if stop() && b.t.Up(string(text), l) {
+			return true, balance.OK, load
+		}
+		return false, balance.Cancelled, load
+	case line.Busy:
+		return false, balance.Full, load
+	case line.Bye:
+		return false, balance.OK, load
+	case line.Moved:
+		return false, balance.Cancelled, load
+	case line.Malformed:
+		slog.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
+	}
+	return false, balance.Errored, load
+}
+
+// dial connects before the deadline, or the limit for connections if that is
+// sooner.
+func (h *Hops) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	if most := time.Now().Add(h.limits.Connect); h.limits.Connect > 0 && most.Before(deadline) {
+		deadline = most
+	}
+	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/internal/nexthop/probe.go
@@ -0,0 +1,103 @@
+package nexthop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/leg"
+	"coralrelay/internal/line"
+)
+
+// Probe asks a next hop for its load.
+func (h *Hops) Probe(server string) {
+	p := h.get(server)
+	if p == nil {
+		go h.watch.Probed(server, balance.ConnectFailed, 0, balance.NoLoad)
+		return
+	}
+	select {
+	case p.probes <- struct{}{}:
+	default: // one is waiting already, and answers both
+	}
+}
+
+// probeLoop owns the kept connection of one next hop.
+func (h *Hops) probeLoop(ctx context.Context, p *hop) {
+	var l *leg.Leg
+	closeKept := func() {
+		if l != nil {
+			l.Release()
+			l = nil
+		}
+	}
+	defer closeKept()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.probes:
+		}
+		begun := time.Now()
+		deadline := begun.Add(h.limits.Probe)
+		kept := l != nil
+		load, err := h.stats(ctx, p, &l, deadline)
+		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) {
+			// The next hop may have closed it while it was idle.
+			closeKept()
+			load, err = h.stats(ctx, p, &l, deadline)
+		}
+		outcome := balance.OK
+		if err != nil {
+			outcome = probeOutcome(err, l != nil)
+			closeKept()
+		}
+		h.watch.Probed(p.id, outcome, time.Since(begun), load)
+	}
+}
+
+// errStats marks an answer that is no load report.
+var errStats = errors.New("probe")
+
+func probeOutcome(err error, connected bool) balance.Outcome {
+	switch {
+	case errors.Is(err, errStats):
+		return balance.Errored
+	case !connected:
+		return balance.ConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.TimedOut
+	}
+	return balance.Reset
+}
+
+// stats asks over the kept connection, which it makes if there is none.
+func (h *Hops) stats(ctx context.Context, p *hop, kept **leg.Leg, deadline time.Time) (balance.Load, error) {
+	if *kept == nil {
+		conn, err := h.dial(ctx, p.address(), deadline)
+		if err != nil {
+			return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+		}
+		*kept = leg.New(conn)
+	}
+	l := *kept
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	if err := l.WriteText(line.Stats, deadline); err != nil {
+		return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+	}
+	text, err := l.ReadText(deadline)
+	if err != nil {
+		return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+	}
+	slog.Debug("probe", "nexthop", p.id, "line", string(text))
+	load, err := line.ParseStats(text)
+	if err != nil {
+		return balance.NoLoad, errors.Join(errStats, err)
+	}
+	return load, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,8 +1,13 @@
-package wire
+// Package settings reads the settings object that an instance is given at its
+// start: the adapter finds it in the simulator's first message, the node in its
+// configuration. Names and units are the same in both.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"coralrelay/balance"
 )
@@ -66,25 +71,25 @@
 	"": balance.ScopeAll, "all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
 }
 
-// settings reads an env object.
-func settings(raw json.RawMessage) (balance.Settings, error) {
+// Decode reads a settings object.
+func Decode(raw json.RawMessage) (balance.Settings, error) {
 	var e env
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return balance.Settings{}, fmt.Errorf("env: %w", err)
 	}
 	g, l := e.Guarantees, e.Limits
 	s := balance.Settings{
-		Instance: e.SlotNo, Instances: e.NInstances, Tick: seconds(e.Granularity), Zone: e.Zone,
-		ListAsked: e.RegistryMode == "on_request", AskWithin: seconds(g.AskWithin),
-		Rules: balance.Rules{AnswerGrace: seconds(g.GraceToAnswer), DrainGrace: seconds(g.DrainGrace),
-			ColdShare: g.ColdFrom, Ramp: seconds(g.RampTime), FallMultiple: g.TipMultiple,
-			FallAfter: seconds(g.TipAfter)},
+		Instance: e.SlotNo, Instances: e.NInstances, Tick: Seconds(e.Granularity), Zone: e.Zone,
+		ListAsked: e.RegistryMode == "on_request", AskWithin: Seconds(g.AskWithin),
+		Rules: balance.Rules{AnswerGrace: Seconds(g.GraceToAnswer), DrainGrace: Seconds(g.DrainGrace),
+			ColdShare: g.ColdFrom, Ramp: Seconds(g.RampTime), FallMultiple: g.TipMultiple,
+			FallAfter: Seconds(g.TipAfter)},
 		Limits: balance.Limits{Probes: l.Probing, Peers: l.Peers, RetryAfter: l.RetryAfter,
-			SecondCopies: l.SecondCopies, MaxAttempts: l.MostTries, MaxRetryAfter: seconds(l.MaxRetryAfter),
-			ConnectTimeout: seconds(l.ConnectTimeout)},
+			SecondCopies: l.SecondCopies, MaxAttempts: l.MostTries, MaxRetryAfter: Seconds(l.MaxRetryAfter),
+			ConnectTimeout: Seconds(l.ConnectTimeout)},
 		Reports: balance.Reports{WithAnswers: e.Report.Via == "answers",
 			ByProbe: e.Report.Via == "answers" || e.Report.Via == "probe"},
-		Conns: balance.Conns{PassThrough: e.Domain.Mode == "pass", Park: seconds(e.Domain.Park),
+		Conns: balance.Conns{PassThrough: e.Domain.Mode == "pass", Park: Seconds(e.Domain.Park),
 			Groups: e.Domain.Groups},
 		ByWork: e.CountedBy == "work", Sized: e.Weights != "none" && e.Weights != "",
 	}
@@ -97,10 +102,10 @@
 		if !ok {
 			return s, fmt.Errorf("env: class %q: unknown group %q", c.Name, c.Group)
 		}
-		class := balance.Class{Name: c.Name, Aim: seconds(c.Objective), Deadline: seconds(c.Deadline),
-			Worth: c.Credit, Effect: effect, Scope: scope, Window: seconds(c.Window)}
+		class := balance.Class{Name: c.Name, Aim: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
+			Worth: c.Credit, Effect: effect, Scope: scope, Window: Seconds(c.Window)}
 		if i < len(e.Domain.MessageAim) {
-			class.MessageAim = seconds(e.Domain.MessageAim[i])
+			class.MessageAim = Seconds(e.Domain.MessageAim[i])
 		}
 		s.Classes = append(s.Classes, class)
 	}
@@ -113,3 +118,8 @@
 	}
 	return s, nil
 }
+
+// Seconds converts the settings' seconds, which count in microseconds.
+func Seconds(s float64) time.Duration {
+	return time.Duration(math.Round(s*1e6)) * time.Microsecond
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,11 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math"
 	"strconv"
 	"time"
 
 	"coralrelay/balance"
+	"coralrelay/internal/settings"
 )
 
 // Delivery is one event of a batch for one instance: a start, a stop or, where
@@ -127,7 +127,7 @@
 		m := &r.msg
 		switch {
 		case m.Cmd == "Clock":
-			b.Now, b.Round, r.round, open = seconds(m.SimTime), m.Round, m.Round, true
+			b.Now, b.Round, r.round, open = settings.Seconds(m.SimTime), m.Round, m.Round, true
 		case !open:
 			return fmt.Errorf("batch %d: message %.80q outside of a batch", r.round, line)
 		case m.Cmd == "OverToYou":
@@ -153,7 +153,7 @@
 	d := Delivery{Instance: m.Who, Cmd: m.Cmd}
 	switch m.Cmd {
 	case "Init":
-		s, err := settings(m.Env)
+		s, err := settings.Decode(m.Env)
 		d.Start = &Start{Seed: m.Entropy, Settings: s, Err: err}
 	case "Destroy":
 		d.Stop = true
@@ -168,18 +168,18 @@
 	case "Handover":
 		d.Event = balance.OpenConn{Request: request(m), Server: m.Server}
 	case "Opened":
-		d.Event = balance.Started{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: seconds(m.Lag)}
+		d.Event = balance.Started{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: settings.Seconds(m.Lag)}
 	case "Progress":
 		d.Event = note(m)
 	case "Completed":
 		d.Event = balance.AttemptEnded{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Outcome: outcome(m.RC),
-			Latency: seconds(m.Lag), Final: m.Complete, Load: load(m.Report)}
+			Latency: settings.Seconds(m.Lag), Final: m.Complete, Load: load(m.Report)}
 	case "Abandoned":
 		d.Event = balance.ClientGone{ID: m.Ref}
 	case "DeadlineHit":
 		d.Event = balance.TimerFired{Token: m.Ctx}
 	case "StatusBack":
-		d.Event = balance.ProbeAnswer{Server: m.Server, Outcome: outcome(m.RC), Latency: seconds(m.Lag),
+		d.Event = balance.ProbeAnswer{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
 			Load: load(m.Report)}
 	case "Memo":
 		d.Event = balance.PeerMessage{From: m.OriginPeer, Data: m.Raw}
@@ -196,14 +196,14 @@
 	case 1:
 		return balance.LoadNote{ID: m.Ref, Server: m.Server, Load: m.X / 1e6}
 	case 2:
-		return balance.DelayNote{ID: m.Ref, Server: m.Server, Delay: seconds(m.X / 1e3)}
+		return balance.DelayNote{ID: m.Ref, Server: m.Server, Delay: settings.Seconds(m.X / 1e3)}
 	}
 	return balance.LoadNote{}
 }
 
 func request(m *message) balance.Request {
 	q := balance.Request{ID: m.Ref, Class: m.Grade, Key: m.Entity, Group: m.TeamID, Returned: m.CameBack,
-		MidFlow: m.MidFlow, Retry: m.AgainByClient, Deadline: seconds(m.Deadline)}
+		MidFlow: m.MidFlow, Retry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
 	if s, ok := m.Realm.(string); ok {
 		q.Tenant = s
 	}
@@ -231,7 +231,7 @@
 			e.State = balance.Gone
 		}
 		if n.StartedAt != nil {
-			e.Started = seconds(*n.StartedAt)
+			e.Started = settings.Seconds(*n.StartedAt)
 		}
 		list[i] = e
 	}
@@ -263,11 +263,6 @@
 	return l
 }
 
-// seconds converts the wire's seconds, which count in microseconds.
-func seconds(s float64) time.Duration {
-	return time.Duration(math.Round(s*1e6)) * time.Microsecond
-}
-
 // AppendAction appends an action of an instance as a line.
 func AppendAction(buf []byte, instance int, a balance.Action) []byte {
 	switch a := a.(type) {
