Give each forwarded line a write deadline of its own

Cause: nexthop's offer() sets the leg's write deadline to the branch's, and exchange's forward() wrote caller lines under it, so each line after about 1.8 s failed and was dropped (forward returned, the relay went on the other way). Ruled out: the flush rule (HasLine) and the read side; only one way was hurt. Test: TestLinesOutliveTheBranchsDeadline fails without the line. Conclusion: legs must not carry deadlines from one stage to the next.

--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,121 @@
+package exchange_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+	"coralrelay/internal/line"
+)
+
+const patience = 10 * time.Second // no test waits this long unless it fails
+
+// pair returns both ends of a connection on real sockets.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if far, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	far.SetDeadline(time.Now().Add(patience))
+	return near, far
+}
+
+type opening struct{}
+
+func (opening) Forward(_, _ time.Time) string { return "OPEN" }
+
+// watcher keeps what it is told.
+type watcher struct {
+	gone    chan struct{}
+	ended   chan exchange.End
+	delayed chan time.Duration
+	loaded  chan float64
+}
+
+func (w *watcher) CallerGone(*exchange.Transaction)                { close(w.gone) }
+func (w *watcher) Ended(_ *exchange.Transaction, how exchange.End) { w.ended <- how }
+func (w *watcher) Delayed(_ *exchange.Transaction, d time.Duration) {
+	w.delayed <- d
+}
+func (w *watcher) Loaded(_ *exchange.Transaction, x float64) { w.loaded <- x }
+
+// bench is a transaction between two parties on real sockets.
+type bench struct {
+	*watcher
+	t           *exchange.Transaction
+	hopLeg      *leg.Leg
+	caller, hop net.Conn // the far ends
+	fromNode    *bufio.Reader
+	fromCaller  *bufio.Reader
+	finished    chan struct{}
+}
+
+func start(t *testing.T) *bench {
+	t.Helper()
+	near, caller := pair(t)
+	hopNear, hop := pair(t)
+	w := &watcher{gone: make(chan struct{}), ended: make(chan exchange.End, 1),
+		delayed: make(chan time.Duration, 16), loaded: make(chan float64, 16)}
+	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: leg.New(hopNear), fromNode: bufio.NewReader(caller),
+		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
+	b.t = exchange.New(exchange.Request{ID: "a"}, opening{}, line.Front{}, w, leg.New(near))
+	go func() { defer close(b.finished); b.t.Run() }()
+	return b
+}
+
+// up brings the connection up.
+func (b *bench) up(t *testing.T) {
+	t.Helper()
+	if !b.t.Up("UP r1", b.hopLeg) {
+		t.Fatal("Up was not taken")
+	}
+	b.expect(t, b.fromNode, "UP r1\r\n")
+}
+
+func (b *bench) expect(t *testing.T, from *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := from.ReadString('\n'); got != want {
+		t.Fatalf("read %q, %v; want %q", got, err, want)
+	}
+}
+
+func say(t *testing.T, to net.Conn, text string) {
+	t.Helper()
+	if _, err := to.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wait[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+// A branch leaves its own deadlines on the leg that it hands over. Lines that
+// came after it were once dropped: writes to the next hop failed with it.
+func TestLinesOutliveTheBranchsDeadline(t *testing.T) {
+	b := start(t)
+	b.hopLeg.SetWriteDeadline(time.Now().Add(-time.Second))
+	b.up(t)
+	say(t, b.caller, "are you there\r\n")
+	b.expect(t, b.fromCaller, "are you there\r\n")
+	say(t, b.hop, "yes\r\n")
+	b.expect(t, b.fromNode, "yes\r\n")
+}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -71,6 +71,9 @@
 	for {
 		line, err := t.caller.ReadRaw()
 		if len(line) > 0 {
+			// A deadline of its own: the branch's, which is the caller's wait for
+			// UP, would fail every line that comes after it.
+			_ = hop.SetWriteDeadline(time.Now().Add(stall))
 			if _, werr := hop.Conn.Write(line); werr != nil {
 				return false
 			}
