Tell unanswered lines as delays after 50 ms, and leave a silent next hop after 1.75 s

Checked with a trace of line-to-answer times, probes and ends (not kept): sound next hops answer a line within 0.3 ms, across zones too; the hung one answers none, yet still answers probes, with load 8 to 9. The module moves its callers as soon as it sees that, but first saw it by chance of a draw, 1.5 to 3 s late. Cause: exchange's heard() told a delay only with an answer, so a hung next hop was never told of; and relay() waited 3.5 s for silence. Ruled out: placements on the hung next hop (no time-outs in the tables), probe time-outs (all probes were answered), network delay in the measured times. Also: load reports come under the settings' names (outstanding, recent_ms); only x0 was read before. LOAD is in microseconds of work a second. Tests: TestSilentNextHop, TestLateAnswerKeepsTheConnection, TestParseStats. Conclusion: the module needs the delay note on sockets too.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -229,11 +229,12 @@
 	})
 }
 
-// Loaded is told a connection's load when its next hop reports it.
+// Loaded is told a connection's load when its next hop reports it, in
+// microseconds of work a second.
 func (c *Core) Loaded(t *exchange.Transaction, load float64) {
 	c.post(func() {
 		if e := c.known(t); e != nil {
-			c.handle(balance.LoadNote{ID: t.ID, Server: e.server, Load: load})
+			c.handle(balance.LoadNote{ID: t.ID, Server: e.server, Load: load / 1e6})
 		}
 	})
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -61,7 +61,7 @@
 type Watcher interface {
 	CallerGone(t *Transaction)                   // while it waited for its answer
 	Ended(t *Transaction, how End)               // after UP; both legs are closed
-	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer
+	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer, or until now
 	Loaded(t *Transaction, load float64)         // a load note passed
 }
 
@@ -90,6 +90,7 @@
 	hop     *leg.Leg  // after UP
 	moving  bool      // a MOVE is wanted
 	pending time.Time // when the oldest unanswered line of the caller went on
+	looks   int       // how often its answer was found missing
 }
 
 // New returns a transaction for a request that came on the caller leg.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -119,3 +119,43 @@
 	say(t, b.hop, "yes\r\n")
 	b.expect(t, b.fromNode, "yes\r\n")
 }
+
+// A hung next hop answers nothing: its delay is told while a line still waits,
+// and then its caller is moved, well before 7 s.
+func TestSilentNextHop(t *testing.T) {
+	b := start(t)
+	b.up(t)
+	say(t, b.caller, "are you there\r\n")
+	b.expect(t, b.fromCaller, "are you there\r\n")
+	first := wait(t, b.delayed)
+	if second := wait(t, b.delayed); first < 40*time.Millisecond || second <= first {
+		t.Errorf("delays told: %v, then %v", first, second)
+	}
+	b.expect(t, b.fromNode, "MOVE\r\n")
+	if how := wait(t, b.ended); how != exchange.Silent {
+		t.Errorf("ended as %v, want Silent", how)
+	}
+	if _, err := b.fromCaller.ReadByte(); err == nil {
+		t.Error("the next hop's leg is still open")
+	}
+}
+
+// An answer that comes late but comes keeps the connection.
+func TestLateAnswerKeepsTheConnection(t *testing.T) {
+	b := start(t)
+	b.up(t)
+	say(t, b.caller, "are you there\r\n")
+	wait(t, b.delayed)
+	say(t, b.hop, "LOAD 7\r\nyes\r\n")
+	b.expect(t, b.fromNode, "LOAD 7\r\n")
+	b.expect(t, b.fromNode, "yes\r\n")
+	if x := wait(t, b.loaded); x != 7 {
+		t.Errorf("load %v", x)
+	}
+	wait(t, b.delayed)
+	b.t.Move()
+	b.expect(t, b.fromNode, "MOVE\r\n")
+	if how := wait(t, b.ended); how != exchange.Moved {
+		t.Errorf("ended as %v, want Moved", how)
+	}
+}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -11,10 +11,19 @@
 )
 
 const (
+	// overdue is when a line that still waits for its answer is told as a
+	// delay. A hung next hop answers nothing, so that the delay of an answer
+	// alone would never tell of it.
+	overdue = 50 * time.Millisecond
 	// silence is how long a next hop may leave a caller's line unanswered
-	// before the caller is moved. Callers write every 2 s and a dead connection
-	// must be left within 7 s, so this leaves room for a late line.
-	silence = 3500 * time.Millisecond
+	// before the caller is moved. Sound ones answer within a millisecond or
+	// two; callers write every 2 s, and a dead connection must be left within
+	// 7 s.
+	silence = 1500 * time.Millisecond
+	// secondLook is a further wait before a next hop counts as silent: after a
+	// pause of the node itself its deadlines have passed although the answers
+	// lie in its sockets, and it would move every caller at once.
+	secondLook = 250 * time.Millisecond
 	// stall is how long one write may block on a slow reader. Nothing is read
 	// from the other side meanwhile, so memory does not grow.
 	stall = 5 * time.Second
@@ -90,8 +99,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
-		t.pending = time.Now()
-		_ = hop.SetReadDeadline(t.pending.Add(silence))
+		t.pending, t.looks = time.Now(), 0
+		_ = hop.SetReadDeadline(t.pending.Add(overdue))
 	}
 }
 
@@ -119,6 +128,9 @@
 	how := Broken
 	for {
 		line, err := a.hop.ReadRaw()
+		if err != nil && len(line) == 0 && t.lookAgain(a.hop, err) {
+			continue
+		}
 		if err != nil {
 			return t.finish(a.hop, how, err)
 		}
@@ -143,6 +155,25 @@
 	}
 }
 
+// lookAgain is asked when a read from the next hop has failed. It is true while
+// a line has waited too short for the next hop to count as silent.
+func (t *Transaction) lookAgain(hop *leg.Leg, err error) bool {
+	t.mu.Lock()
+	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looks == 2 {
+		t.mu.Unlock()
+		return false
+	}
+	since := t.pending
+	next := since.Add(silence)
+	if t.looks++; t.looks == 2 {
+		next = time.Now().Add(secondLook)
+	}
+	_ = hop.SetReadDeadline(next)
+	t.mu.Unlock()
+	t.watch.Delayed(t, time.Since(since))
+	return true
+}
+
 // finish ends both sides after the next hop's leg could not be read further.
 func (t *Transaction) finish(hop *leg.Leg, how End, err error) End {
 	t.mu.Lock()
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -167,8 +167,10 @@
 	return ParseReport(rest)
 }
 
-// ParseReport reads a load report. The names are those on the sockets, which
-// differ from the ones in the settings: inflight there is outstanding here.
+// ParseReport reads a load report. Its fields come under the names that the
+// settings' report.fields use at the site, or under the protocol's own; read
+// under one spelling only, a report loses fields without a word. Others are
+// passed over.
 func ParseReport(text []byte) (balance.Load, error) {
 	l := balance.NoLoad
 	if len(text) == 0 {
@@ -184,17 +186,17 @@
 			return balance.NoLoad, fmt.Errorf("load report: %s: %.40q is no load", name, value)
 		}
 		switch string(name) {
-		case "inflight":
+		case "inflight", "outstanding":
 			l.Inflight = v
-		case "queue":
+		case "queue", "backlog":
 			l.Queue = v
-		case "util":
+		case "util", "utilization":
 			l.Util = v
-		case "latency_ms":
+		case "latency_ms", "recent_ms":
 			l.Latency = v
-		case "qps":
+		case "qps", "throughput":
 			l.QPS = v
-		case "eps":
+		case "eps", "errors_per_s":
 			l.EPS = v
 		case "x0":
 			l.X0 = v
--- /dev/null
+++ b/internal/line/line_test.go
@@ -0,0 +1,147 @@
+package line
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/exchange"
+)
+
+func TestParseOpen(t *testing.T) {
+	tests := []struct {
+		name, line string
+		want       Open // without its head and tail; zero if the line is malformed
+	}{
+		{"all", "OPEN 9b k1 c=chat,d=2000,g=5c,r=1,again=1,at=s-1,h=0.25,new=x",
+			Open{ID: "9b", Key: "k1", Class: "chat", Group: "5c", At: "s-1", Wait: 2 * time.Second, Hint: 0.25,
+				Retry: true, Again: true}},
+		{"least", "OPEN 9b k1 c=chat,d=1.5", Open{ID: "9b", Key: "k1", Class: "chat", Wait: 1500 * time.Microsecond}},
+		{"flags off", "OPEN 9b k1 r=0,again=0,c=chat,d=1", Open{ID: "9b", Key: "k1", Class: "chat", Wait: time.Millisecond}},
+		{"empty", "", Open{}},
+		{"other word", "GET / HTTP/1.1", Open{}},
+		{"lower case", "open 9b k1 c=chat,d=1", Open{}},
+		{"no id", "OPEN  k1 c=chat,d=1", Open{}},
+		{"no list", "OPEN 9b k1", Open{}},
+		{"no class", "OPEN 9b k1 d=1", Open{}},
+		{"no wait", "OPEN 9b k1 c=chat", Open{}},
+		{"wait is a word", "OPEN 9b k1 c=chat,d=soon", Open{}},
+		{"wait is NaN", "OPEN 9b k1 c=chat,d=NaN", Open{}},
+		{"wait is negative", "OPEN 9b k1 c=chat,d=-1", Open{}},
+		{"wait overflows", "OPEN 9b k1 c=chat,d=1e300", Open{}},
+		{"wait twice", "OPEN 9b k1 c=chat,d=1,d=2", Open{}},
+		{"hint is infinite", "OPEN 9b k1 c=chat,d=1,h=Inf", Open{}},
+		{"no value", "OPEN 9b k1 c=chat,d=1,g", Open{}},
+		{"extra word", "OPEN 9b k1 c=chat,d=1 x", Open{}},
+		{"binary", "OPEN 9b k\x00 c=chat,d=1", Open{}},
+		{"beyond ASCII", "OPEN 9b k\u00e9 c=chat,d=1", Open{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := ParseOpen([]byte(tt.line))
+			got.head, got.tail = "", ""
+			if (err == nil) != (tt.want.ID != "") || err == nil && got != tt.want {
+				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
+			}
+		})
+	}
+}
+
+// The line goes on unchanged but for d: unknown names and their order stay.
+func TestForward(t *testing.T) {
+	now := time.Now()
+	tests := []struct{ line, want string }{
+		{"OPEN 9b k1 c=chat,d=2000,g=5c", "OPEN 9b k1 c=chat,d=1500,g=5c"},
+		{"OPEN 9b k1 d=2000,zz=d=3,c=chat", "OPEN 9b k1 d=1500,zz=d=3,c=chat"},
+		{"OPEN 9b k1 c=chat,d=2000", "OPEN 9b k1 c=chat,d=1500"},
+	}
+	for _, tt := range tests {
+		o, err := ParseOpen([]byte(tt.line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := o.Forward(now, now.Add(1500*time.Millisecond)); got != tt.want {
+			t.Errorf("got %q, want %q", got, tt.want)
+		}
+		if got := o.Forward(now, now.Add(-time.Second)); !strings.Contains(got, "d=0") {
+			t.Errorf("after its deadline: %q", got)
+		}
+	}
+}
+
+// Reports come under the settings' names at this site (seen on its sockets:
+// outstanding and recent_ms, not inflight and latency_ms) and under the
+// protocol's own in its examples.
+func TestParseStats(t *testing.T) {
+	full := balance.Load{X0: 0.5, X1: 1, Util: 0.25, Inflight: 7, Queue: 2, Latency: 12, QPS: 40, EPS: 0.5}
+	tests := []struct {
+		name, line string
+		want       balance.Load
+		ok         bool
+	}{
+		{"the settings' names", "PONG outstanding=7,x0=0.5,recent_ms=12,backlog=2,utilization=0.25,throughput=40,errors_per_s=0.5,x1=1", full, true},
+		{"the protocol's names", "PONG inflight=7,x0=0.5,latency_ms=12,queue=2,util=0.25,qps=40,eps=0.5,x1=1", full, true},
+		{"names to come", "PONG mood=3", balance.NoLoad, true},
+		{"no report", "PONG", balance.NoLoad, true},
+		{"error", "ERR", balance.NoLoad, false},
+		{"not allowed", "NO", balance.NoLoad, false},
+		{"no value", "PONG x0", balance.NoLoad, false},
+		{"no number", "PONG x0=much", balance.NoLoad, false},
+		{"not finite", "PONG x0=NaN", balance.NoLoad, false},
+		{"negative", "PONG x0=-1", balance.NoLoad, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := ParseStats([]byte(tt.line))
+			if got != tt.want || (err == nil) != tt.ok {
+				t.Errorf("got %+v, %v; want %+v", got, err, tt.want)
+			}
+		})
+	}
+}
+
+func TestParseReply(t *testing.T) {
+	tests := []struct {
+		line string
+		want Reply
+	}{
+		{"UP r1", Up}, {"UP", Malformed}, {"UPPER r1", Malformed}, {"BUSY", Busy}, {"BUSY x0=0.5", Busy},
+		{"ERR", Err}, {"ERR inflight=7,queue=2", Err}, {"BYE", Bye}, {"MOVE", Moved}, {"", Malformed},
+		{"SYNTAX", Malformed}, {"\x00\x01", Malformed},
+	}
+	for _, tt := range tests {
+		if got, _ := ParseReply([]byte(tt.line)); got != tt.want {
+			t.Errorf("%q: got %d, want %d", tt.line, got, tt.want)
+		}
+	}
+	if _, load := ParseReply([]byte("BUSY x0=0.5")); load.X0 != 0.5 {
+		t.Errorf("report lost: %+v", load)
+	}
+}
+
+func TestNotice(t *testing.T) {
+	tests := []struct {
+		line string
+		want exchange.Notice
+		x    float64
+	}{
+		{"LOAD 9407.5\r\n", exchange.NoticeLoad, 9407.5}, {"LOAD much\r\n", exchange.NoticeOther, 0},
+		{"MOVE\r\n", exchange.NoticeMove, 0}, {"BYE\r\n", exchange.NoticeBye, 0},
+		{"BYE inflight=7\r\n", exchange.NoticeBye, 0}, {"BYEBYE\r\n", exchange.NoticeOther, 0},
+		{"price 7\r\n", exchange.NoticeOther, 0},
+	}
+	for _, tt := range tests {
+		if got, x := (Front{}).Notice([]byte(tt.line)); got != tt.want || x != tt.x {
+			t.Errorf("%q: got %d, %v", tt.line, got, x)
+		}
+	}
+}
+
+func TestBusy(t *testing.T) {
+	for pause, want := range map[time.Duration]string{0: "BUSY", 250 * time.Millisecond: "BUSY 250", time.Microsecond: "BUSY"} {
+		if got := (Front{}).Busy(pause); got != want {
+			t.Errorf("%v: got %q, want %q", pause, got, want)
+		}
+	}
+}
