Tell an unanswered line as a delay after 350 ms, when a probe can show why

Checked with a trace (not kept): the first note came 50 ms after the hang, the module probed at once, and the report still said load 0.58; at 1.1 s, when it may look again, it said 9.07 and the callers were moved. Cause: exchange's overdue of 50 ms against reports that are up to 370 ms old (refresh 52 to 260 ms, delay 6 to 110 ms).

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -128,7 +128,7 @@
 	say(t, b.caller, "are you there\r\n")
 	b.expect(t, b.fromCaller, "are you there\r\n")
 	first := wait(t, b.delayed)
-	if second := wait(t, b.delayed); first < 40*time.Millisecond || second <= first {
+	if second := wait(t, b.delayed); first < 300*time.Millisecond || second <= first {
 		t.Errorf("delays told: %v, then %v", first, second)
 	}
 	b.expect(t, b.fromNode, "MOVE\r\n")
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -13,8 +13,9 @@
 const (
 	// overdue is when a line that still waits for its answer is told as a
 	// delay. A hung next hop answers nothing, so that the delay of an answer
-	// alone would never tell of it.
-	overdue = 50 * time.Millisecond
+	// alone would never tell of it. Told sooner, the module's probe would still
+	// find the report from before the trouble: reports are up to 370 ms old.
+	overdue = 350 * time.Millisecond
 	// silence is how long a next hop may leave a caller's line unanswered
 	// before the caller is moved. Sound ones answer within a millisecond or
 	// two; callers write every 2 s, and a dead connection must be left within
