Test the node on real sockets, and close the gaps that the tests named

Tests: one on real sockets for each rule of the node (serves, bad first lines, answer before the deadline, busy beyond the sockets, planned restart), the ends of a relay, slow readers, a silent watch, and tables for the parsers and the configuration. Gaps closed: a first line with a class that the settings don't name was forwarded; callers that say nothing could use up the sockets; a next hop that holds a connection already was offered it only once; known and settings may be null; a dead watch could take 5 s to notice and ask again, now about 4.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -58,24 +59,30 @@
 
 func run() error {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	clock := decide.NewClock()
 	c, err := config.Load(os.Getenv)
 	if err != nil {
-		return err
+		return fmt.Errorf("configuration: %w", err)
 	}
 	limit(c.Limits)
 	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	return serve(terminate, c)
+}
+
+// serve runs the node until terminate ends, and then lets it end in good order.
+func serve(terminate context.Context, c config.Config) error {
 	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	defer parts.Wait()
 	defer cancel()
 
 	hops := nexthop.New(ctx, nexthop.Limits{Connect: c.Settings.Limits.ConnectTimeout, Probe: probeWait,
 		Drain: c.Settings.Rules.DrainGrace})
 	lists := &fleet{hops: hops}
 	watch := roster.New(c.Discovery, lists)
-	core, err := decide.New(clock, c.Seed, c.Settings, hops, watch)
+	core, err := decide.New(decide.NewClock(), c.Seed, c.Settings, hops, watch)
 	if err != nil {
-		return err
+		return fmt.Errorf("configuration: %w", err)
 	}
 	lists.core = core
 	hops.Watch(core)
@@ -84,17 +91,13 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	server := caller.New(core, (c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))/2)
-	go core.Run(ctx)
-	go watch.Run(ctx, c.Known)
+	parts.Go(func() { core.Run(ctx) })
+	parts.Go(func() { watch.Run(ctx, c.Known) })
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
 
-	select {
-	case err := <-served:
-		return err
-	case <-terminate.Done():
-	}
+	<-terminate.Done()
 	begun := time.Now()
 	longest := time.Duration(0)
 	for _, class := range c.Settings.Classes {
@@ -103,9 +106,11 @@
 	longest = min(longest, longestDrain)
 	slog.Info("draining", "longest", longest)
 	server.Drain(begun.Add(longest), begun.Add(longest+afterDrain))
-	slog.Info("drained", "took", time.Since(begun))
 	_ = listener.Close()
-	return <-served
+	err = <-served
+	server.Close()
+	slog.Info("drained", "took", time.Since(begun))
+	return err
 }
 
 // limit keeps the process within its machine.
--- /dev/null
+++ b/cmd/coralrelay/main_test.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coralrelay/internal/config"
+)
+
+const patience = 10 * time.Second // no test waits this long unless it fails
+
+const settings = `{"classes":[{"name":"feed","objective":0.3,"deadline":1.2,"effect":"read_like"}],
+"domain":{"groups":true,"messageAim":[0.06],"mode":"proxy"},"granularity":0.004,"nInstances":1,
+"guarantees":{"askWithin":10,"coldFrom":0.12,"drainGrace":0.3,"graceToAnswer":0.016,"rampTime":23,"tipAfter":1.5,"tipMultiple":3},
+"limits":{"connectTimeout":0.25,"maxRetryAfter":1,"mostTries":6,"probing":true,"retryAfter":true},
+"registryMode":"on_request","report":{"via":"probe"},"weights":"rough","zone":"a"}`
+
+// listen starts a party on loopback that serves each connection with f.
+func listen(t *testing.T, f func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer conn.Close(); f(conn) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// nextHop answers as a feed server does; first lines are kept in got.
+func nextHop(got *atomic.Int32) func(net.Conn) {
+	return func(conn net.Conn) {
+		for lines := bufio.NewScanner(conn); lines.Scan(); {
+			answer := "yes"
+			switch word, _, _ := strings.Cut(lines.Text(), " "); word {
+			case "STATS":
+				answer = "PONG outstanding=1,x0=0.1,recent_ms=2"
+			case "OPEN":
+				got.Add(1)
+				answer = "UP r1"
+			}
+			fmt.Fprintf(conn, "%s\r\n", answer)
+		}
+	}
+}
+
+// node starts a node that knows one next hop, and returns where it listens and
+// what ends it. Its discovery accepts calls and answers none.
+func node(t *testing.T, hop string, sockets int) (addr string, terminate context.CancelFunc, done <-chan error) {
+	t.Helper()
+	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = l.Addr().String()
+	l.Close()
+	raw := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+		"limits":{"cores":1,"memory_mb":64,"sockets":%d},"settings":%s,"known":{"generation":1,"reset":true,"instances":[
+		{"instanceId":"s1","hostPort":%q,"zone":"a","lifecycle":"active","weight":1,"startedAtMs":0}]}}`,
+		addr, discovery, sockets, settings, hop)
+	if hop == "" {
+		raw = raw[:strings.Index(raw, `,"known"`)] + "}"
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Load(func(name string) string {
+		if name == "BALANCER_CONFIG" {
+			return path
+		}
+		return ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, c) }()
+	t.Cleanup(cancel)
+	for begun := time.Now(); ; {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			conn.Close()
+			return addr, cancel, ended
+		} else if time.Since(begun) > patience {
+			t.Fatal(err)
+		}
+	}
+}
+
+// client is a caller's connection.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+	t *testing.T
+}
+
+func call(t *testing.T, addr, text string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprint(conn, text)
+	return &client{conn, bufio.NewReader(conn), t}
+}
+
+func (c *client) line() string {
+	c.t.Helper()
+	s, err := c.r.ReadString('\n')
+	if err != nil {
+		c.t.Fatalf("read %q, %v", s, err)
+	}
+	return strings.TrimSuffix(s, "\r\n")
+}
+
+func open(id string) string { return "OPEN " + id + " k1 c=feed,d=1200,g=5c\r\n" }
+
+func TestServes(t *testing.T) {
+	var got atomic.Int32
+	addr, _, _ := node(t, listen(t, nextHop(&got)), 1024)
+	c := call(t, addr, "PING\r\n")
+	if s := c.line(); s != "PONG" {
+		t.Fatalf("ping: %q", s)
+	}
+	fmt.Fprint(c, open("a")) // PING may come before the first line
+	if s := c.line(); s != "UP r1" {
+		t.Fatalf("first answer %q", s)
+	}
+	fmt.Fprint(c, "are you there\r\n")
+	if s := c.line(); s != "yes" {
+		t.Fatalf("relayed %q", s)
+	}
+	if s := call(t, addr, "OPEN b k1 c=feed,d=1200,at=s1\r\n").line(); s != "UP r1" {
+		t.Fatalf("a connection that its next hop holds: %q", s)
+	}
+}
+
+// Malformed first lines get one failing answer and a close, and none goes on.
+func TestBadFirstLines(t *testing.T) {
+	var got atomic.Int32
+	addr, _, _ := node(t, listen(t, nextHop(&got)), 1024)
+	for name, text := range map[string]string{
+		"word": "HELLO\r\n", "binary": "OPEN \x00\xff k c=feed,d=1\r\n", "no wait": "OPEN a k c=feed\r\n",
+		"class unknown": "OPEN a k c=chat,d=1000\r\n", "endless": strings.Repeat("OPEN", 5000),
+	} {
+		c := call(t, addr, text)
+		if s := c.line(); s != "ERR" {
+			t.Errorf("%s: answered %q", name, s)
+		}
+		if s, err := c.r.ReadString('\n'); err == nil {
+			t.Errorf("%s: a second answer %q", name, s)
+		}
+	}
+	if n := got.Load(); n != 0 {
+		t.Errorf("%d first lines went on", n)
+	}
+}
+
+// The answer comes before the deadline, also with a next hop that takes the
+// first line and answers nothing, or with no roster at all.
+func TestAnswersBeforeTheDeadline(t *testing.T) {
+	hung := listen(t, func(conn net.Conn) { bufio.NewReader(conn).ReadString(0) })
+	for name, hop := range map[string]string{"hung next hop": hung, "no roster": ""} {
+		addr, _, _ := node(t, hop, 1024)
+		begun := time.Now()
+		s := call(t, addr, "OPEN a k1 c=feed,d=400\r\n").line()
+		if took := time.Since(begun); !strings.HasPrefix(s, "BUSY ") || took > 400*time.Millisecond {
+			t.Errorf("%s: %q after %v", name, s, took)
+		}
+	}
+}
+
+func TestBusyBeyondTheSockets(t *testing.T) {
+	var got atomic.Int32
+	addr, _, _ := node(t, listen(t, nextHop(&got)), 64)
+	for i := range 24 { // (64 - 16) / 2
+		if s := call(t, addr, open(fmt.Sprint("a", i))).line(); s != "UP r1" {
+			t.Fatalf("connection %d: %q", i, s)
+		}
+	}
+	if s := call(t, addr, open("b")).line(); s != "BUSY" {
+		t.Errorf("beyond the limit: %q", s)
+	}
+}
+
+// A planned restart moves what stands, refuses what comes, and ends in time.
+func TestTerminates(t *testing.T) {
+	var got atomic.Int32
+	addr, terminate, done := node(t, listen(t, nextHop(&got)), 1024)
+	var standing []*client
+	for i := range 8 {
+		c := call(t, addr, open(fmt.Sprint("a", i)))
+		if s := c.line(); s != "UP r1" {
+			t.Fatalf("connection %d: %q", i, s)
+		}
+		standing = append(standing, c)
+	}
+	begun := time.Now()
+	terminate()
+	first := standing[0].line() // accepting goes on while the others stand
+	if s := call(t, addr, open("b")).line(); s != "BUSY" {
+		t.Errorf("a new caller: %q", s)
+	}
+	for _, c := range standing[1:] {
+		if s := c.line(); s != "MOVE" || first != "MOVE" {
+			t.Errorf("standing: %q, %q", first, s)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if took, most := time.Since(begun), 1900*time.Millisecond; took > most {
+		t.Errorf("took %v, want at most %v", took, most)
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,6 +20,9 @@
 	// margin is kept back from a caller's deadline: its clock started when it
 	// sent the line, and the answer still has to reach it.
 	margin = 25 * time.Millisecond
+	// unread is how many callers may be connected beyond the transactions:
+	// before their first line, or with a busy answer on its way.
+	unread = 48
 	// writing is how long a short answer may block.
 	writing = time.Second
 )
@@ -67,8 +70,12 @@
 // serve reads first lines until one opens a connection.
 func (s *Server) serve(conn net.Conn) {
 	l := leg.New(conn)
-	s.hold(conn, true)
-	defer s.hold(conn, false) // a transaction closes its leg itself
+	if !s.hold(conn) {
+		// Callers that say nothing would use up the sockets unnoticed.
+		s.answer(l, line.Front{}.Busy(0))
+		return
+	}
+	defer s.letGo(conn) // a transaction closes its leg itself
 	for {
 		text, err := l.ReadText(time.Now().Add(firstLine))
 		switch {
@@ -126,19 +133,32 @@
 // reject answers a first line that is none, and ends the leg.
 func (s *Server) reject(l *leg.Leg, err error) {
 	slog.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
-	_ = l.WriteText(line.Error, time.Now().Add(writing))
+	s.answer(l, line.Error)
+}
+
+// answer writes a leg's only answer and ends it.
+func (s *Server) answer(l *leg.Leg, text string) {
+	_ = l.WriteText(text, time.Now().Add(writing))
 	l.FinishWrites()
 	_ = l.SetReadDeadline(time.Now().Add(writing / 4))
 	l.Drain()
 	l.Release()
 }
 
-func (s *Server) hold(conn net.Conn, on bool) {
+// hold keeps conn among those that are closed at the end. It is false if there
+// are too many.
+func (s *Server) hold(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if on {
-		s.legs[conn] = struct{}{}
-	} else {
-		delete(s.legs, conn)
+	if len(s.legs) >= s.most+unread {
+		return false
 	}
+	s.legs[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) letGo(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.legs, conn)
 }
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -39,11 +39,17 @@
 			t.Move()
 		}
 	}
+}
+
+// Close ends every leg that is left and waits for the goroutines that served
+// them. The listener must be closed before.
+func (s *Server) Close() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for conn := range s.legs {
 		_ = conn.Close()
 	}
+	s.mu.Unlock()
+	s.wg.Wait()
 }
 
 // standing lists the connections that stand and were not told to move, and
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,12 +94,12 @@
 	if c.Limits, err = f.limits(); err != nil {
 		return c, err
 	}
-	if len(f.Known) > 0 {
+	if len(f.Known) > 0 && string(f.Known) != "null" {
 		if c.Known, err = roster.Decode(f.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
-	if len(f.Settings) == 0 {
+	if len(f.Settings) == 0 || string(f.Settings) == "null" {
 		return c, errors.New("settings: missing")
 	}
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -12,6 +12,9 @@
 	"coralrelay/internal/exchange"
 )
 
+// homeAgain is the pause before a next hop is offered once more what it held.
+const homeAgain = 100 * time.Millisecond
+
 // Branches makes attempts and probes. Its methods return at once; what becomes
 // of them is told to the Core.
 type Branches interface {
@@ -32,6 +35,7 @@
 	done     chan struct{}
 
 	// What follows belongs to Run's goroutine.
+	classes      map[string]bool
 	transactions map[string]*entry
 	timers       timers
 	delays       delays
@@ -53,9 +57,13 @@
 	if err != nil {
 		return nil, err
 	}
+	classes := map[string]bool{}
+	for _, class := range set.Classes {
+		classes[class.Name] = true
+	}
 	return &Core{clock: clock, balancer: balancer, branches: b, roster: r,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
-		transactions: map[string]*entry{}, delays: newDelays(set.Classes)}, nil
+		classes: classes, transactions: map[string]*entry{}, delays: newDelays(set.Classes)}, nil
 }
 
 // Run handles events until ctx ends.
@@ -72,11 +80,11 @@
 		case <-wake.C:
 		}
 		for now := time.Now(); ; {
-			token, due := c.timers.due(now)
+			do, due := c.timers.due(now)
 			if !due {
 				break
 			}
-			c.handle(balance.TimerFired{Token: token})
+			do()
 		}
 		if len(c.timers) > 0 {
 			wake.Reset(time.Until(c.timers[0].at))
@@ -128,7 +136,7 @@
 	case balance.Probe:
 		c.branches.Probe(a.Server)
 	case balance.SetTimer:
-		c.timers.set(now.Add(a.Delay), a.Token)
+		c.timers.set(now.Add(a.Delay), func() { c.handle(balance.TimerFired{Token: a.Token}) })
 	case balance.Subscribe:
 		c.roster.Subscribe()
 	case balance.Log:
@@ -156,10 +164,11 @@
 // Submit takes a transaction, which is then owed one final answer.
 func (c *Core) Submit(t *exchange.Transaction) {
 	c.post(func() {
-		if c.transactions[t.ID] != nil {
-			// Ids are new for each connection. A second one would mix up two
-			// transactions in the module.
-			slog.Warn("id used twice", "id", t.ID)
+		if c.transactions[t.ID] != nil || !c.classes[t.Class] {
+			// Ids are new for each connection: a second one would mix up two
+			// transactions in the module. A class that the settings don't name
+			// comes from nobody who may be served.
+			slog.Warn("transaction rejected: id in use or class unknown", "id", t.ID, "class", t.Class)
 			t.Fail()
 			return
 		}
@@ -268,9 +277,8 @@
 		if c.known(t) == nil {
 			return
 		}
-		if t.At != "" { // nowhere else to go: the module never heard of it
-			c.drop(t.ID)
-			t.Fail()
+		if t.At != "" {
+			c.backHome(t, server, outcome)
 			return
 		}
 		c.handle(balance.AttemptEnded{ID: t.ID, Attempt: attempt, Server: server, Outcome: outcome,
@@ -278,6 +286,24 @@
 	})
 }
 
+// backHome goes on with a transaction whose next hop holds it already and did
+// not take it back. There is nothing to decide, and the module never heard of
+// it: it is offered again while that is harmless and there is time, as the node
+// may know its next hop only a moment later, or too many came home at once.
+func (c *Core) backHome(t *exchange.Transaction, server string, outcome balance.Outcome) {
+	next := time.Now().Add(homeAgain)
+	if outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(t.Deadline) {
+		c.drop(t.ID)
+		t.Fail()
+		return
+	}
+	c.timers.set(next, func() {
+		if c.known(t) != nil {
+			c.branches.Start(t, 0, server, t.Deadline)
+		}
+	})
+}
+
 // Probed is told a probe's result.
 func (c *Core) Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load) {
 	c.post(func() {
--- a/internal/decide/timers.go
+++ b/internal/decide/timers.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// timer is one that the module has set.
+// timer is something to do later.
 type timer struct {
-	at    time.Time
-	token uint64
+	at time.Time
+	do func()
 }
 
 // timers is a heap of them, the next one first.
@@ -25,12 +25,12 @@
 	return x
 }
 
-func (t *timers) set(at time.Time, token uint64) { heap.Push(t, timer{at, token}) }
+func (t *timers) set(at time.Time, do func()) { heap.Push(t, timer{at, do}) }
 
 // due takes the first timer off the heap if its time has come.
-func (t *timers) due(now time.Time) (uint64, bool) {
+func (t *timers) due(now time.Time) (do func(), ok bool) {
 	if len(*t) == 0 || (*t)[0].at.After(now) {
-		return 0, false
+		return nil, false
 	}
-	return heap.Pop(t).(timer).token, true
+	return heap.Pop(t).(timer).do, true
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -159,3 +159,98 @@
 		t.Errorf("ended as %v, want Moved", how)
 	}
 }
+
+// Either side's end ends the other side.
+func TestEnds(t *testing.T) {
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
+	tests := []struct {
+		name   string
+		end    func(t *testing.T, b *bench)
+		want   exchange.End
+		passed string // the last line that the caller gets
+	}{
+		{"next hop says BYE", func(t *testing.T, b *bench) { say(t, b.hop, "BYE x0=1\r\n"); b.hop.Close() }, exchange.Served, "BYE x0=1\r\n"},
+		{"next hop says MOVE", func(t *testing.T, b *bench) { say(t, b.hop, "MOVE\r\n"); b.hop.Close() }, exchange.Moved, "MOVE\r\n"},
+		{"next hop ends", func(_ *testing.T, b *bench) { b.hop.Close() }, exchange.Broken, ""},
+		{"next hop resets", func(_ *testing.T, b *bench) { reset(b.hop) }, exchange.Broken, ""},
+		{"caller ends", func(_ *testing.T, b *bench) { b.caller.Close() }, exchange.CallerLeft, ""},
+		{"caller resets", func(_ *testing.T, b *bench) { reset(b.caller) }, exchange.CallerLeft, ""},
+		{"our move", func(_ *testing.T, b *bench) { b.t.Move() }, exchange.Moved, "MOVE\r\n"},
+		{"our move within a line", func(t *testing.T, b *bench) {
+			say(t, b.hop, "whole\r\nhalf a li")
+			b.expect(t, b.fromNode, "whole\r\n")
+			b.t.Move()
+		}, exchange.Moved, "MOVE\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := start(t)
+			b.up(t)
+			tt.end(t, b)
+			if how := wait(t, b.ended); how != tt.want {
+				t.Errorf("ended as %v, want %v", how, tt.want)
+			}
+			if got, _ := b.fromNode.ReadString('\n'); got != tt.passed {
+				t.Errorf("the caller's last line is %q, want %q", got, tt.passed)
+			}
+			if _, err := b.fromCaller.ReadByte(); err == nil {
+				t.Error("the next hop's leg is still open")
+			}
+			wait(t, b.finished)
+		})
+	}
+}
+
+// There is one final answer, whoever is first.
+func TestOneFinalAnswer(t *testing.T) {
+	b := start(t)
+	if !b.t.Refuse(250*time.Millisecond) || b.t.Fail() || b.t.Up("UP r1", b.hopLeg) {
+		t.Error("not exactly the first answer was taken")
+	}
+	b.expect(t, b.fromNode, "BUSY 250\r\n")
+	b.expect(t, b.fromNode, "")
+	if b.t.Context().Err() == nil {
+		t.Error("a branch would go on after the answer")
+	}
+}
+
+// A caller that leaves while it waits ends its branch, and no answer is taken.
+func TestCallerGoneWhileWaiting(t *testing.T) {
+	b := start(t)
+	b.caller.Close()
+	wait(t, b.gone)
+	wait(t, b.t.Context().Done())
+	if b.t.Up("UP r1", b.hopLeg) {
+		t.Error("an UP was taken for a caller that has left")
+	}
+	wait(t, b.finished)
+}
+
+// Lines pass byte for byte, and a reader that is slow holds up its next hop
+// rather than memory: what was not read is not taken from the next hop either.
+func TestSlowReader(t *testing.T) {
+	b := start(t)
+	b.up(t)
+	line := make([]byte, leg.Size)
+	for i := range line {
+		line[i] = byte(' ' + i%90)
+	}
+	copy(line[len(line)-2:], "\r\n")
+	const most = 64 << 20 / leg.Size // far more than the sockets' buffers hold
+	written := 0
+	b.hop.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	for ; written < most; written++ {
+		if _, err := b.hop.Write(line); err != nil {
+			break
+		}
+	}
+	if written == most {
+		t.Fatalf("the node took all of %d lines from the next hop", most)
+	}
+	for i := range written {
+		got, err := b.fromNode.ReadString('\n')
+		if err != nil || got != string(line) {
+			t.Fatalf("line %d of %d changed on its way: %v", i, written, err)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,12 +18,13 @@
 
 const (
 	// heartbeat is how often a watch says something; silence beyond it, and
-	// some room for a late one, is a dead watch.
+	// some room for a late one, is a dead watch. A cut-off discovery gives no
+	// other sign, and what it has to tell counts as told after 6 s.
 	heartbeat = 2 * time.Second
-	dead      = heartbeat + 800*time.Millisecond
+	dead      = heartbeat + 600*time.Millisecond
 	// answered is how long a call may wait for its head: discovery serves one
-	// at a time and drops those that waited too long.
-	answered = 2500 * time.Millisecond
+	// at a time and drops those that waited a second.
+	answered = 1500 * time.Millisecond
 	// largest bounds one message.
 	largest = 8 << 20
 )
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,146 @@
+package roster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+)
+
+const patience = 10 * time.Second // no test waits this long unless it fails
+
+const (
+	one = `{"instanceId":"s1","hostPort":"127.1.0.1:7070","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.5,"startedAtMs":1796122725000}`
+	two = `{"instanceId":"s2","hostPort":"127.1.0.2:7070","zone":"b","lifecycle":"leaving","weight":1,"startedAtMs":0}`
+)
+
+func TestDecode(t *testing.T) {
+	s1 := Entry{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3, Size: 1.5,
+		Started: 1796122725 * time.Second}}
+	s2 := Entry{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining, Size: 1}}
+	gone := Entry{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
+	tests := []struct {
+		name, raw string
+		want      Update // no generation: malformed as a whole
+	}{
+		{"whole list", `{"generation":41,"reset":true,"instances":[` + one + "," + two + `]}`, Update{balance.ListFull, 41, []Entry{s1, s2}}},
+		{"changes", `{"generation":42,"instances":[{"instanceId":"s3","lifecycle":"left"}]}`, Update{balance.ListDelta, 42, []Entry{gone}}},
+		{"nothing", `{"generation":42,"reset":false,"instances":[]}`, Update{balance.ListDelta, 42, nil}},
+		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
+		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
+		{"no address", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
+		{"no object", `{"generation":43,"instances":[7,null,"x",` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
+		{"wrong type", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
+		{"no generation", `{"instances":[]}`, Update{}},
+		{"no JSON", `{`, Update{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := Decode([]byte(tt.raw))
+			if (err == nil) != (tt.want.Generation != 0) || err == nil && !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
+			}
+		})
+	}
+}
+
+type sink chan Update
+
+func (s sink) Listed(u Update) { s <- u }
+
+func (s sink) next(t *testing.T) Update {
+	t.Helper()
+	select {
+	case u := <-s:
+		return u
+	case <-time.After(patience):
+		t.Fatal("no update came")
+		return Update{}
+	}
+}
+
+// start runs a Watch against a discovery that answers its calls one by one.
+func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watch, sink) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for _, serve := range calls {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			request, _ := bufio.NewReader(conn).ReadString('\n')
+			serve(conn, request)
+		}
+	}()
+	s := make(sink, 16)
+	w := New(l.Addr().String(), s)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); w.Run(ctx, Update{Generation: 41}) }()
+	t.Cleanup(func() { cancel(); l.Close(); <-ended })
+	if u := s.next(t); u.Kind != balance.ListCached || u.Generation != 41 {
+		t.Errorf("first of all came %+v, want the known list", u)
+	}
+	return w, s
+}
+
+const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+
+// A watch resumes from the last generation that it saw; its failures are told.
+func TestWatchResumes(t *testing.T) {
+	requests := make(chan string, 2)
+	w, s := start(t, func(conn net.Conn, request string) {
+		requests <- request
+		fmt.Fprint(conn, head)
+		chunk(conn, `{"generation":43,"reset":true,"inst`) // a message may come in pieces
+		chunk(conn, `ances":[`+one+"]}\n\n")
+		chunk(conn, "\n")
+		chunk(conn, `{"generation":44,"reset":false,"instances":[`+two+"]}\n")
+		conn.Close()
+	}, func(conn net.Conn, request string) {
+		requests <- request
+		fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		conn.Close()
+	})
+	w.Subscribe()
+	for _, want := range []balance.ListKind{balance.ListFull, balance.ListDelta, balance.ListFailed} {
+		if u := s.next(t); u.Kind != want {
+			t.Fatalf("got %+v, want kind %d", u, want)
+		}
+	}
+	w.Subscribe()
+	if u := s.next(t); u.Kind != balance.ListFailed {
+		t.Errorf("after a 503 came %+v", u)
+	}
+	for _, from := range []string{"from=41 ", "from=44 "} {
+		if r := <-requests; !strings.HasPrefix(r, "GET /v1/endpoints?watch=1&") || !strings.Contains(r, from) {
+			t.Errorf("request %q, want one with %s", r, from)
+		}
+	}
+}
+
+// A watch that says nothing for longer than its heartbeat is dead: a machine
+// that is cut off gives no other sign.
+func TestSilentWatchIsDead(t *testing.T) {
+	w, s := start(t, func(conn net.Conn, _ string) { fmt.Fprint(conn, head) })
+	begun := time.Now()
+	w.Subscribe()
+	if u := s.next(t); u.Kind != balance.ListFailed {
+		t.Errorf("came %+v", u)
+	}
+	if took := time.Since(begun); took < heartbeat || took > 2*heartbeat {
+		t.Errorf("given up after %v", took)
+	}
+}
