--- /dev/null
+++ b/internal/decide/decide_test.go
@@ -0,0 +1,168 @@
+package decide
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+	"coralrelay/internal/line"
+)
+
+const patience = 10 * time.Second // no test waits this long unless it fails
+
+// Counted from the start of the process, a server's start an hour ago would be
+// negative: the module would read it as long ago and send a cold server all.
+func TestClockIsUnixTime(t *testing.T) {
+	c := NewClock()
+	now := time.Now()
+	if got := c.At(now); got < time.Duration(now.UnixNano())-time.Second || got > time.Duration(now.UnixNano())+time.Second {
+		t.Errorf("now is %v, want Unix time", got)
+	}
+	if got := c.At(now.Add(time.Hour)) - c.At(now); got != time.Hour {
+		t.Errorf("an hour counts %v", got)
+	}
+}
+
+func TestDelaysWorthTelling(t *testing.T) {
+	d := newDelays([]balance.Class{{MessageAim: 90 * time.Millisecond}, {MessageAim: 60 * time.Millisecond}, {}})
+	now := time.Now()
+	for i, s := range []struct {
+		server string
+		at     time.Duration
+		delay  time.Duration
+		want   bool
+	}{
+		{"a", 0, 20 * time.Millisecond, false},                      // a third of the shortest aim
+		{"a", 0, 21 * time.Millisecond, true},                       // over it
+		{"a", 900 * time.Millisecond, 70 * time.Millisecond, false}, // once a second
+		{"b", 900 * time.Millisecond, 70 * time.Millisecond, true},  // for each next hop
+		{"a", time.Second, 70 * time.Millisecond, true},
+		{"a", 1100 * time.Millisecond, 2 * time.Millisecond, true}, // once more when it is back under
+		{"a", 1200 * time.Millisecond, 2 * time.Millisecond, false},
+	} {
+		if got := d.worthTelling(s.server, s.delay, now.Add(s.at)); got != s.want {
+			t.Errorf("step %d: %v, want %v", i, got, s.want)
+		}
+	}
+	if none := newDelays(nil); none.worthTelling("a", time.Hour, now) {
+		t.Error("told without an aim")
+	}
+}
+
+// parties stand in for the next hops and the roster.
+type parties struct {
+	started chan string
+	probed  chan string
+	asked   chan struct{}
+}
+
+func (p *parties) Start(_ *exchange.Transaction, _ int, server string, _ time.Time) {
+	p.started <- server
+}
+func (p *parties) Probe(server string) { p.probed <- server }
+func (p *parties) Subscribe()          { p.asked <- struct{}{} }
+
+func wait[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(patience):
+		t.Fatal("nothing came")
+	}
+	return v
+}
+
+func start(t *testing.T) (*Core, *parties) {
+	t.Helper()
+	p := &parties{make(chan string, 16), make(chan string, 16), make(chan struct{}, 16)}
+	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
+		Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
+		Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
+		Limits:  balance.Limits{Probes: true, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, p, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); c.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	c.Listed(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
+	return c, p
+}
+
+func submit(c *Core, r exchange.Request) *exchange.Transaction {
+	near, _ := net.Pipe()
+	r.Class, r.Deadline = "feed", time.Now().Add(patience)
+	x := exchange.New(r, &line.Open{}, line.Front{}, c, leg.New(near))
+	c.Submit(x)
+	return x
+}
+
+// A draw is a probe, a failed connection starts the drawing anew elsewhere, and
+// a reset is never sent again: the transaction is answered.
+func TestAttempts(t *testing.T) {
+	c, p := start(t)
+	wait(t, p.asked) // the module asks for the list
+	load := balance.NoLoad
+	load.X0 = 0.1
+	x := submit(c, exchange.Request{ID: "a"})
+	first := wait(t, p.probed)
+	c.Probed(first, balance.OK, time.Millisecond, load)
+	if s := wait(t, p.started); s != first {
+		t.Fatalf("probed %s, started at %s", first, s)
+	}
+	c.BranchEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.NoLoad)
+	second := wait(t, p.probed)
+	c.Probed(second, balance.OK, time.Millisecond, load)
+	if s := wait(t, p.started); s == first {
+		t.Fatalf("%s was tried again", s)
+	}
+	c.BranchEnded(x, 1, second, balance.Reset, time.Millisecond, balance.NoLoad)
+	wait(t, x.Context().Done())
+	if x.Standing() || len(p.started) > 0 {
+		t.Error("sent again after a reset")
+	}
+}
+
+// A second transaction of an id in use is failed, and the first goes on.
+func TestIDInUse(t *testing.T) {
+	c, p := start(t)
+	first := submit(c, exchange.Request{ID: "a"})
+	wait(t, p.probed)
+	wait(t, submit(c, exchange.Request{ID: "a"}).Context().Done())
+	if first.Context().Err() != nil {
+		t.Error("the first was answered too")
+	}
+}
+
+// A connection that its next hop holds already goes there and nowhere else, and
+// is offered again while that is harmless.
+func TestBackHome(t *testing.T) {
+	c, p := start(t)
+	x := submit(c, exchange.Request{ID: "a", At: "s7"})
+	for range 2 {
+		if s := wait(t, p.started); s != "s7" {
+			t.Fatalf("started at %s", s)
+		}
+		c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+	}
+	wait(t, p.started)
+	c.BranchEnded(x, 0, "s7", balance.Reset, 0, balance.NoLoad)
+	wait(t, x.Context().Done())
+}
+
+// A connection may end before its branch has said that it stood: the module
+// still hears of both in order, and the id is free again.
+func TestEndToldBeforeItsStart(t *testing.T) {
+	c, p := start(t)
+	x := submit(c, exchange.Request{ID: "a", At: "s1"})
+	wait(t, p.started)
+	c.Ended(x, exchange.Served)
+	c.BranchUp(x, 0, "s1", time.Millisecond)
+	submit(c, exchange.Request{ID: "a"})
+	wait(t, p.probed)
+}
--- a/internal/nexthop/probe.go
+++ b/internal/nexthop/probe.go
@@ -46,8 +46,10 @@
 		deadline := begun.Add(h.limits.Probe)
 		kept := l != nil
 		load, err := h.stats(ctx, p, &l, deadline)
-		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) {
-			// The next hop may have closed it while it was idle.
+		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errStats) {
+			// The next hop may have closed it while it was idle. An answer that
+			// is no report is one all the same: asking again would only add to
+			// whatever ails it.
 			closeKept()
 			load, err = h.stats(ctx, p, &l, deadline)
 		}
