Let a read that fails take nothing, and count idle callers as sockets

Callers before their first line had a limit of 48 of their own, more than small nodes have and less than a large one needs; all legs and branches now share the node's socket limit, and a first line may take 5 s instead of 10.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := caller.New(core, (c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))/2)
+	server := caller.New(core, c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
 	served := make(chan error, 1)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -16,13 +16,10 @@
 
 const (
 	// firstLine is how long a caller may take to send its first line.
-	firstLine = 10 * time.Second
+	firstLine = 5 * time.Second
 	// margin is kept back from a caller's deadline: its clock started when it
 	// sent the line, and the answer still has to reach it.
 	margin = 25 * time.Millisecond
-	// unread is how many callers may be connected beyond the transactions:
-	// before their first line, or with a busy answer on its way.
-	unread = 48
 	// writing is how long a short answer may block.
 	writing = time.Second
 )
@@ -36,7 +33,7 @@
 // Server serves callers.
 type Server struct {
 	decider Decider
-	most    int // transactions at once; beyond it a busy answer
+	sockets int // that may be in use; beyond it a busy answer
 
 	mu       sync.Mutex
 	draining bool
@@ -45,9 +42,10 @@
 	wg       sync.WaitGroup
 }
 
-// New returns a Server that holds at most so many transactions.
-func New(d Decider, most int) *Server {
-	return &Server{decider: d, most: most, running: map[*exchange.Transaction]struct{}{},
+// New returns a Server that uses so many sockets: one for a caller, and one more
+// for its branch.
+func New(d Decider, sockets int) *Server {
+	return &Server{decider: d, sockets: sockets, running: map[*exchange.Transaction]struct{}{},
 		legs: map[net.Conn]struct{}{}}
 }
 
@@ -79,7 +77,7 @@
 	for {
 		text, err := l.ReadText(time.Now().Add(firstLine))
 		switch {
-		case err != nil && len(text) == 0:
+		case err != nil && l.R.Buffered() == 0:
 			l.Release() // gone without a word
 			return
 		case err != nil:
@@ -123,7 +121,7 @@
 func (s *Server) admit(t *exchange.Transaction) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || len(s.running) >= s.most {
+	if s.draining || s.used() >= s.sockets {
 		return false
 	}
 	s.running[t] = struct{}{}
@@ -150,13 +148,16 @@
 func (s *Server) hold(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.legs) >= s.most+unread {
+	if s.used() >= s.sockets {
 		return false
 	}
 	s.legs[conn] = struct{}{}
 	return true
 }
 
+// used counts the sockets in use, under the lock.
+func (s *Server) used() int { return len(s.legs) + len(s.running) }
+
 func (s *Server) letGo(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -145,8 +145,9 @@
 	b := start(t)
 	b.up(t)
 	say(t, b.caller, "are you there\r\n")
+	say(t, b.hop, "LOA") // half a line must outlive the wait for the rest
 	wait(t, b.delayed)
-	say(t, b.hop, "LOAD 7\r\nyes\r\n")
+	say(t, b.hop, "D 7\r\nyes\r\n")
 	b.expect(t, b.fromNode, "LOAD 7\r\n")
 	b.expect(t, b.fromNode, "yes\r\n")
 	if x := wait(t, b.loaded); x != 7 {
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"os"
@@ -80,18 +79,16 @@
 func (t *Transaction) forward(hop *leg.Leg) bool {
 	for {
 		line, err := t.caller.ReadRaw()
-		if len(line) > 0 {
-			// A deadline of its own: the branch's, which is the caller's wait for
-			// UP, would fail every line that comes after it.
-			_ = hop.SetWriteDeadline(time.Now().Add(stall))
-			if _, werr := hop.Conn.Write(line); werr != nil {
-				return false
-			}
-			t.sent(hop)
-		}
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+		if err != nil {
 			return true
 		}
+		// A deadline of its own: the branch's, which is the caller's wait for UP,
+		// would fail every line that comes after it.
+		_ = hop.SetWriteDeadline(time.Now().Add(stall))
+		if _, err := hop.Conn.Write(line); err != nil {
+			return false
+		}
+		t.sent(hop)
 	}
 }
 
@@ -129,10 +126,10 @@
 	how := Broken
 	for {
 		line, err := a.hop.ReadRaw()
-		if err != nil && len(line) == 0 && t.lookAgain(a.hop, err) {
-			continue
-		}
 		if err != nil {
+			if t.lookAgain(a.hop, err) {
+				continue
+			}
 			return t.finish(a.hop, how, err)
 		}
 		switch kind, x := t.front.Notice(line); kind {
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -39,14 +39,43 @@
 	return &Leg{Conn: conn, Reader: textproto.Reader{R: b.Reader}, Writer: textproto.Writer{W: b.Writer}, pooled: b}
 }
 
-// ReadRaw returns the next line with its end, valid until the next read. It
-// stands in for textproto's ReadLine, which takes a line cut off by the end of
-// the connection for a whole one and reads an endless one until memory is out:
-// here the first is io.EOF, the second bufio.ErrBufferFull.
-func (l *Leg) ReadRaw() ([]byte, error) { return l.R.ReadSlice('\n') }
-
-// ReadText returns the next line without its end, read before the deadline. With
-// an error comes what there was of the line.
+// ReadRaw returns the next line with its end, valid until the next read. A read
+// that fails takes nothing: a deadline may come in the middle of a line that is
+// still on its way. It stands in for textproto's ReadLine, which takes a line cut
+// off by the end of the connection for a whole one and reads an endless one until
+// memory is out: here the first is io.EOF, the second bufio.ErrBufferFull.
+func (l *Leg) ReadRaw() ([]byte, error) {
+	for {
+		line, whole := l.buffered()
+		switch {
+		case whole:
+			_, err := l.R.Discard(len(line))
+			return line, err
+		case len(line) == Size:
+			return nil, bufio.ErrBufferFull
+		}
+		if _, err := l.R.Peek(len(line) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// buffered returns what is buffered, up to the end of the first line.
+func (l *Leg) buffered() (line []byte, whole bool) {
+	b, _ := l.R.Peek(l.R.Buffered())
+	if i := bytes.IndexByte(b, '\n'); i >= 0 {
+		return b[:i+1], true
+	}
+	return b, false
+}
+
+// HasLine tells whether a whole line is buffered, so that reading it won't wait.
+func (l *Leg) HasLine() bool {
+	_, whole := l.buffered()
+	return whole
+}
+
+// ReadText returns the next line without its end, read before the deadline.
 func (l *Leg) ReadText(deadline time.Time) ([]byte, error) {
 	if err := l.SetReadDeadline(deadline); err != nil {
 		return nil, err
@@ -71,16 +100,6 @@
 	return l.W.Flush()
 }
 
-// HasLine tells whether a whole line is buffered, so that reading it won't wait.
-func (l *Leg) HasLine() bool {
-	n := l.R.Buffered()
-	if n == 0 {
-		return false
-	}
-	b, _ := l.R.Peek(n)
-	return bytes.IndexByte(b, '\n') >= 0
-}
-
 // Wake ends a read that is waiting.
 func (l *Leg) Wake() { _ = l.SetReadDeadline(past) }
 
