Probe a server once, half a second after its connections were taken over

Change: adopt() notes the time, houseKeep() probes each such server once. No placement changes; what the report says decides as before. Test: TestTakenOverServersAreLookedAt.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -66,6 +66,9 @@
 	// movesPerSecond is the share of its connections that an instance may move
 	// a second, so that moves never make a reconnect wave of their own.
 	movesPerSecond = 0.1
+	// lookAfter is how long after connections were taken over their server is
+	// looked at: by then its report shows them. No draw of ours put them there.
+	lookAfter = 500 * time.Millisecond
 	// drainSpread is the time over which connections leave a draining server.
 	drainSpread = 1500 * time.Millisecond
 	// never is a time that does not come.
@@ -189,6 +192,7 @@
 	if s := b.servers[e.Server]; s != nil {
 		b.attach(r, s)
 		b.heldBefore += r.load
+		s.lookAt = b.now + lookAfter
 	} else {
 		r.phase = opened
 	}
@@ -762,6 +766,14 @@
 	}
 	b.houseAt = b.now + house
 	b.do(SetTimer{Delay: house})
+	for _, s := range b.ready {
+		// Where a server was overfull from the start and nothing tells of its
+		// delays, only the chance of a draw would show it.
+		if s.lookAt > 0 && b.now >= s.lookAt && b.probesTell() {
+			s.lookAt = 0
+			b.probe(s)
+		}
+	}
 	if b.set.ListAsked && !b.subscribed && b.now >= b.askAt {
 		b.asking = true
 		b.askAt = b.now + max(b.set.AskWithin, time.Second) // should the answer never come
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -452,3 +452,20 @@
 		t.Errorf("%d in the queue, want the 2 that wait", len(d.b.queue))
 	}
 }
+
+// A server that was overfull when its connections were taken over is looked at
+// once, although no request draws it and no note tells of it.
+func TestTakenOverServersAreLookedAt(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+	var probed []string
+	for range 20 {
+		for _, p := range pick[Probe](d.run(d.now + house)) {
+			probed = append(probed, p.Server)
+			d.answer(p.Server, 0.5)
+		}
+	}
+	if len(probed) != 1 || probed[0] != "a" {
+		t.Errorf("probed %v, want a once", probed)
+	}
+}
