Notice a caller that leaves although it sent lines before UP

Found by reading: readCaller's Peek(1) returned on an early line and then waited for the answer, so the caller's end went unseen and its branch went on. It now looks for more behind what is buffered until Up wakes it. Ruled out: lines held back after UP (the test sends one early and gets it at once). Tests: TestCallerGoneWhileWaiting and TestLinesOutliveTheBranchsDeadline, extended; six runs under the race detector.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -89,6 +89,7 @@
 	gone    bool      // the caller has left
 	hop     *leg.Leg  // after UP
 	moving  bool      // a MOVE is wanted
+	closing bool      // the caller leg is about to be closed
 	pending time.Time // when the oldest unanswered line of the caller went on
 	looks   int       // how often its answer was found missing
 }
@@ -115,6 +116,9 @@
 	t.hop = a.hop
 	t.final <- a
 	t.cancel()
+	if a.hop != nil {
+		t.caller.Wake() // its reader has lines to pass on from now
+	}
 	return true
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -112,8 +112,10 @@
 // came after it were once dropped: writes to the next hop failed with it.
 func TestLinesOutliveTheBranchsDeadline(t *testing.T) {
 	b := start(t)
+	say(t, b.caller, "too early\r\n")
 	b.hopLeg.SetWriteDeadline(time.Now().Add(-time.Second))
 	b.up(t)
+	b.expect(t, b.fromCaller, "too early\r\n") // it waited for UP, and no longer
 	say(t, b.caller, "are you there\r\n")
 	b.expect(t, b.fromCaller, "are you there\r\n")
 	say(t, b.hop, "yes\r\n")
@@ -216,8 +218,10 @@
 }
 
 // A caller that leaves while it waits ends its branch, and no answer is taken.
+// Lines that it sent too early don't hide it.
 func TestCallerGoneWhileWaiting(t *testing.T) {
 	b := start(t)
+	say(t, b.caller, "too early\r\n")
 	b.caller.Close()
 	wait(t, b.gone)
 	wait(t, b.t.Context().Done())
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -52,20 +52,25 @@
 	}
 	// The reader still runs: it drops what the caller writes, so that the
 	// close does not reset the connection under the last line.
+	t.mu.Lock()
+	t.closing = true
 	_ = t.caller.SetReadDeadline(time.Now().Add(linger))
+	t.mu.Unlock()
 	<-done
 	t.caller.Release()
 }
 
 // readCaller notices that the caller leaves and, after UP, passes its lines on.
 func (t *Transaction) readCaller() {
-	if _, err := t.caller.R.Peek(1); err != nil {
+	if !t.await() {
 		t.leave()
 		return
 	}
-	<-t.ctx.Done() // early lines wait here for the answer, at most a buffer of them
 	t.mu.Lock()
 	hop := t.hop
+	if !t.closing {
+		_ = t.caller.SetReadDeadline(time.Time{})
+	}
 	t.mu.Unlock()
 	if hop == nil || t.forward(hop) {
 		t.leave()
@@ -74,6 +79,23 @@
 	t.caller.Drain()
 }
 
+// await returns when the caller is answered, or false if it has left before.
+// Lines that come too early stay in the buffer. They must not hide that their
+// caller leaves, so it looks for more behind them, until Up wakes it.
+func (t *Transaction) await() bool {
+	for t.caller.R.Buffered() < leg.Size {
+		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
+		if t.ctx.Err() != nil {
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+	<-t.ctx.Done()
+	return true
+}
+
 // forward passes the caller's lines on until either side ends. It tells whether
 // it was the caller.
 func (t *Transaction) forward(hop *leg.Leg) bool {
