Catch SIGHUP: reread the file and follow its discovery at once

Checked: main.go caught SIGTERM only (signal.NotifyContext in run), so SIGHUP had its default effect; roster.Watch had one fixed address. Ruled out: memory (3 of 64 MB) and descriptors.

Now config.Reload reads and checks the file again, the file's discovery counts over the environment, roster.Follow drops the old watch without telling a failure and asks the new address for all it has. A bad file changes nothing.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -59,18 +59,22 @@
 
 func run() error {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	// Caught from the first moment on: unhandled, either would end the process.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
 	limit(c.Limits)
-	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return serve(terminate, c)
+	return serve(terminate, hangUps, c)
 }
 
 // serve runs the node until terminate ends, and then lets it end in good order.
-func serve(terminate context.Context, c config.Config) error {
+// On each hang-up the configuration is read again, also while the node ends.
+func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -93,6 +97,7 @@
 	server := caller.New(core, c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
+	parts.Go(func() { reload(ctx, hangUps, c, watch) })
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
@@ -113,6 +118,29 @@
 	return err
 }
 
+// reload reads the configuration again on each hang-up, until ctx ends. A file
+// that can't be used changes nothing.
+func reload(ctx context.Context, hangUps <-chan os.Signal, c config.Config, watch *roster.Watch) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+		}
+		next, fixed, err := c.Reload(os.Getenv)
+		if err != nil {
+			slog.Error("reload: the old configuration stays", "err", err)
+			continue
+		}
+		if len(fixed) > 0 {
+			slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+		}
+		slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery)
+		c = next
+		watch.Follow(c.Discovery)
+	}
+}
+
 // limit keeps the process within its machine.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,17 +63,30 @@
 	}
 }
 
-// node starts a node that knows one next hop, and returns where it listens and
-// what ends it. Its discovery accepts calls and answers none.
-func node(t *testing.T, hop string, sockets int) (addr string, terminate context.CancelFunc, done <-chan error) {
+// TestMain lets the test binary stand in for the node's process, where signals
+// are tested.
+func TestMain(m *testing.M) {
+	if os.Getenv("BALANCER_CONFIG") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// free returns an address on which nobody listens.
+func free(t *testing.T) string {
 	t.Helper()
-	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr = l.Addr().String()
-	l.Close()
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// configure writes the configuration of a node that knows one next hop.
+func configure(t *testing.T, path, addr, discovery, hop string, sockets int) {
+	t.Helper()
 	raw := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":64,"sockets":%d},"settings":%s,"known":{"generation":1,"reset":true,"instances":[
 		{"instanceId":"s1","hostPort":%q,"zone":"a","lifecycle":"active","weight":1,"startedAtMs":0}]}}`,
@@ -79,10 +94,32 @@
 	if hop == "" {
 		raw = raw[:strings.Index(raw, `,"known"`)] + "}"
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(raw), 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// ready waits until the node accepts callers.
+func ready(t *testing.T, addr string) {
+	t.Helper()
+	for begun := time.Now(); ; {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			conn.Close()
+			return
+		} else if time.Since(begun) > patience {
+			t.Fatal(err)
+		}
+	}
+}
+
+// node starts a node that knows one next hop, and returns where it listens and
+// what ends it. Its discovery accepts calls and answers none.
+func node(t *testing.T, hop string, sockets int) (addr string, terminate context.CancelFunc, done <-chan error) {
+	t.Helper()
+	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
+	addr = free(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr, discovery, hop, sockets)
 	c, err := config.Load(func(name string) string {
 		if name == "BALANCER_CONFIG" {
 			return path
@@ -94,16 +131,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, c) }()
+	go func() { ended <- serve(ctx, nil, c) }()
 	t.Cleanup(cancel)
-	for begun := time.Now(); ; {
-		if conn, err := net.Dial("tcp", addr); err == nil {
-			conn.Close()
-			return addr, cancel, ended
-		} else if time.Since(begun) > patience {
-			t.Fatal(err)
-		}
-	}
+	ready(t, addr)
+	return addr, cancel, ended
 }
 
 // client is a caller's connection.
@@ -235,3 +266,81 @@
 		t.Errorf("took %v, want at most %v", took, most)
 	}
 }
+
+// A hang-up once ended the process and cut what stood. Now the node follows the
+// discovery that the file names, although its environment still has the first;
+// a file that can't be used changes nothing; hang-ups while it drains do no harm.
+func TestHangUp(t *testing.T) {
+	discovery := func() (string, <-chan net.Conn) {
+		calls := make(chan net.Conn, 8)
+		return listen(t, func(conn net.Conn) {
+			calls <- conn
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			io.Copy(io.Discard, conn)
+			calls <- nil
+		}), calls
+	}
+	expect := func(calls <-chan net.Conn, ended bool, what string) {
+		t.Helper()
+		select {
+		case conn := <-calls:
+			if ended != (conn == nil) {
+				t.Fatal("not so: " + what)
+			}
+		case <-time.After(4 * time.Second):
+			t.Fatal("not within 4 s: " + what)
+		}
+	}
+	var got atomic.Int32
+	hop, addr, path := listen(t, nextHop(&got)), free(t), filepath.Join(t.TempDir(), "config.json")
+	first, firstCalls := discovery()
+	second, secondCalls := discovery()
+	configure(t, path, addr, first, hop, 1024)
+	process := exec.Command(os.Args[0])
+	process.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_DISCOVERY="+first)
+	process.Stderr = t.Output()
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { process.Process.Kill(); process.Wait() })
+	signal := func(s os.Signal) {
+		t.Helper()
+		if err := process.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ready(t, addr)
+	standing := call(t, addr, open("a"))
+	if s := standing.line(); s != "UP r1" {
+		t.Fatalf("first answer %q", s)
+	}
+	expect(firstCalls, false, "the first discovery is watched")
+
+	configure(t, path, addr, second, hop, 1024)
+	signal(syscall.SIGHUP)
+	expect(secondCalls, false, "the second discovery is watched")
+	expect(firstCalls, true, "the first watch is dropped")
+
+	if err := os.WriteFile(path, []byte(`{"discovery":7}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		signal(syscall.SIGHUP)
+	}
+	fmt.Fprint(standing, "are you there\r\n")
+	if s := standing.line(); s != "yes" {
+		t.Errorf("relayed %q", s)
+	}
+	if s := call(t, addr, open("b")).line(); s != "UP r1" {
+		t.Errorf("a caller after a bad file: %q", s)
+	}
+	signal(syscall.SIGTERM)
+	if s := standing.line(); s != "MOVE" {
+		t.Errorf("at the restart %q", s)
+	}
+	signal(syscall.SIGHUP)
+	if err := process.Wait(); err != nil {
+		t.Errorf("the node ended with %v", err)
+	}
+	expect(secondCalls, true, "the second watch ends with the node, and none came between")
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"coralrelay/balance"
@@ -42,6 +44,9 @@
 	leastSockets    = 64
 )
 
+// discoveryVariable wins over the file at the start, and only then.
+const discoveryVariable = "BALANCER_DISCOVERY"
+
 // file is BALANCER_CONFIG's form.
 type file struct {
 	Name      string `json:"name"`
@@ -79,13 +84,41 @@
 	return f.config(getenv)
 }
 
+// Reload reads the file again for a node that runs as c tells. Of what it holds
+// only the discovery's address can change while the node runs, and there the
+// file counts: the environment still has the address of the start. The whole
+// file is checked all the same, and fixed names the keys that would need a
+// restart. On an error c stays as it is.
+func (c Config) Reload(getenv func(string) string) (next Config, fixed []string, err error) {
+	next, err = Load(func(name string) string {
+		if name == discoveryVariable {
+			return ""
+		}
+		return getenv(name)
+	})
+	if err != nil {
+		return c, nil, err
+	}
+	for key, same := range map[string]bool{
+		"name": next.Name == c.Name, "listen": next.Listen == c.Listen, "seed": next.Seed == c.Seed,
+		"limits": next.Limits == c.Limits, "settings": reflect.DeepEqual(next.Settings, c.Settings),
+	} {
+		if !same {
+			fixed = append(fixed, key)
+		}
+	}
+	slices.Sort(fixed)
+	c.Discovery = next.Discovery
+	return c, fixed, nil
+}
+
 func (f *file) config(getenv func(string) string) (Config, error) {
 	c := Config{Name: first(getenv("BALANCER_NAME"), f.Name)}
 	var err error
 	if c.Listen, err = address("listen", "BALANCER_LISTEN", f.Listen, getenv); err != nil {
 		return c, err
 	}
-	if c.Discovery, err = address("discovery", "BALANCER_DISCOVERY", f.Discovery, getenv); err != nil {
+	if c.Discovery, err = address("discovery", discoveryVariable, f.Discovery, getenv); err != nil {
 		return c, err
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -75,3 +76,44 @@
 		t.Errorf("variable: %v", err)
 	}
 }
+
+// On a reload the file's discovery counts; other keys wait for a restart, and a
+// file that can't be used changes nothing.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": path, "BALANCER_DISCOVERY": "127.2.0.1:8500"}[name]
+	}
+	write := func(old, new string) {
+		if err := os.WriteFile(path, []byte(strings.Replace(good, old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("", "")
+	c, err := Load(env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		old, new  string
+		discovery string
+		fixed     []string
+		faulty    string
+	}{
+		{`127.2.0.1:8500`, `127.2.0.9:8500`, "127.2.0.9:8500", nil, ""},
+		{`"sockets":4096`, `"sockets":512`, "127.2.0.1:8500", []string{"limits"}, ""},
+		{`"127.2.0.1:8500"`, `"nowhere"`, "127.2.0.1:8500", nil, "discovery"},
+		{`"discovery":"127.2.0.1:8500",`, ``, "127.2.0.1:8500", nil, "discovery"},
+		{`"deadline":1.8`, `"deadline":"soon"`, "127.2.0.1:8500", nil, "deadline"},
+	}
+	for _, tt := range tests {
+		write(tt.old, tt.new)
+		next, fixed, err := c.Reload(env)
+		if next.Discovery != tt.discovery || !slices.Equal(fixed, tt.fixed) || next.Limits != c.Limits {
+			t.Errorf("%s: got %+v, fixed %v", tt.new, next, fixed)
+		}
+		if (err == nil) != (tt.faulty == "") || err != nil && !strings.Contains(err.Error(), tt.faulty) {
+			t.Errorf("%s: error %v, want one that names %q", tt.new, err, tt.faulty)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http/httputil"
 	"strings"
+	"sync"
 	"time"
 
 	"coralrelay/balance"
@@ -37,15 +38,18 @@
 // Watch follows discovery. It runs one watch at a time, each when it is asked
 // for: what fails is told, and somebody else decides when to ask again.
 type Watch struct {
-	addr string
 	sink Sink
 	want chan struct{}
-	from int64 // the last generation seen
+	from int64 // the last generation seen at the address followed; Run's own
+
+	mu   sync.Mutex
+	addr string
+	stop context.CancelFunc // ends the watch that runs, as another is to be followed
 }
 
 // New returns a Watch of the discovery service at addr.
 func New(addr string, sink Sink) *Watch {
-	return &Watch{addr: addr, sink: sink, want: make(chan struct{}, 1)}
+	return &Watch{addr: addr, sink: sink, want: make(chan struct{}, 1), stop: func() {}}
 }
 
 // Subscribe asks for a watch.
@@ -56,31 +60,82 @@
 	}
 }
 
+// Follow goes over to the discovery service at addr at once. The list stays; the
+// end of the old watch is no failure and is not told.
+func (w *Watch) Follow(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		w.addr = addr
+		w.stop()
+		w.Subscribe()
+	}
+}
+
 // Run serves subscriptions until ctx ends. It starts with the list that the
 // node had last, which may be old.
 func (w *Watch) Run(ctx context.Context, known Update) {
 	known.Kind = balance.ListCached
 	w.from = known.Generation
 	w.sink.Listed(known)
-	for {
+	for last := w.address(); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.want:
 		}
-		err := w.follow(ctx)
+		watch, addr := w.begin(ctx)
+		if addr != last {
+			// Generations of two services need not be of one count: asked from
+			// the old one's, the new one might leave changes out.
+			last, w.from = addr, 0
+		}
+		err := w.follow(watch, addr)
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("watch ended", "err", err)
-		w.sink.Listed(Update{Kind: balance.ListFailed, Generation: w.from})
+		if w.end(watch) {
+			slog.Warn("watch ended", "discovery", addr, "err", err)
+			w.sink.Listed(Update{Kind: balance.ListFailed, Generation: w.from})
+		}
+	}
+}
+
+func (w *Watch) address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.addr
+}
+
+// begin returns the context of a new watch, and the address to ask.
+func (w *Watch) begin(ctx context.Context) (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.stop = context.WithCancel(ctx)
+	return ctx, w.addr
+}
+
+// end tells whether the watch has failed rather than given way to another. After
+// a failure only who is told of it asks again: what was asked for before is void,
+// or two calls would follow without a pause.
+func (w *Watch) end(watch context.Context) (failed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if watch.Err() != nil {
+		return false
+	}
+	w.stop()
+	select {
+	case <-w.want:
+	default:
 	}
+	return true
 }
 
 // follow makes one watch and passes on what it says until it ends.
-func (w *Watch) follow(ctx context.Context) error {
+func (w *Watch) follow(ctx context.Context, addr string) error {
 	d := net.Dialer{Deadline: time.Now().Add(answered), KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", w.addr)
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
@@ -88,7 +143,7 @@
 	defer l.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	body, err := w.call(l, time.Now().Add(answered))
+	body, err := w.call(l, addr, time.Now().Add(answered))
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
@@ -110,12 +165,12 @@
 }
 
 // call sends the request and returns the answer's body.
-func (w *Watch) call(l *leg.Leg, deadline time.Time) (io.Reader, error) {
+func (w *Watch) call(l *leg.Leg, addr string, deadline time.Time) (io.Reader, error) {
 	if err := l.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
 	err := l.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
-		w.from, w.addr)
+		w.from, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"reflect"
 	"strings"
@@ -65,13 +66,14 @@
 	}
 }
 
-// start runs a Watch against a discovery that answers its calls one by one.
-func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watch, sink) {
+// discovery answers its calls one by one.
+func discovery(t *testing.T, calls ...func(conn net.Conn, request string)) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		for _, serve := range calls {
 			conn, err := l.Accept()
@@ -82,12 +84,19 @@
 			serve(conn, request)
 		}
 	}()
+	return l.Addr().String()
+}
+
+// start runs a Watch against a discovery that answers its calls one by one.
+func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watch, sink) {
+	t.Helper()
+	addr := discovery(t, calls...)
 	s := make(sink, 16)
-	w := New(l.Addr().String(), s)
+	w := New(addr, s)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); w.Run(ctx, Update{Generation: 41}) }()
-	t.Cleanup(func() { cancel(); l.Close(); <-ended })
+	t.Cleanup(func() { cancel(); <-ended })
 	if u := s.next(t); u.Kind != balance.ListCached || u.Generation != 41 {
 		t.Errorf("first of all came %+v, want the known list", u)
 	}
@@ -144,3 +153,34 @@
 		t.Errorf("given up after %v", took)
 	}
 }
+
+// Another discovery is followed at once: the old watch is dropped without a word
+// of failure, and the new one is asked for all it has, as its generations need
+// not be the old one's.
+func TestFollow(t *testing.T) {
+	dropped, requests := make(chan error, 1), make(chan string, 1)
+	w, s := start(t, func(conn net.Conn, _ string) {
+		fmt.Fprint(conn, head)
+		chunk(conn, `{"generation":43,"reset":true,"instances":[]}`+"\n")
+		_, err := conn.Read(make([]byte, 1))
+		dropped <- err
+	})
+	w.Subscribe()
+	if u := s.next(t); u.Generation != 43 {
+		t.Fatalf("got %+v", u)
+	}
+	w.Follow(discovery(t, func(conn net.Conn, request string) {
+		requests <- request
+		fmt.Fprint(conn, head)
+		chunk(conn, `{"generation":7,"reset":true,"instances":[`+one+"]}\n")
+	}))
+	if u := s.next(t); u.Kind != balance.ListFull || u.Generation != 7 || len(u.Entries) != 1 {
+		t.Errorf("got %+v, want the new list", u)
+	}
+	if r := <-requests; !strings.Contains(r, "from=0 ") {
+		t.Errorf("request %q, want one for all", r)
+	}
+	if err := <-dropped; err != io.EOF {
+		t.Errorf("the old watch's connection: %v, want its end", err)
+	}
+}
