Place a wave that returns after a restart; move callers later when draining

A trace of the module's events shows two causes:

1. n1, back at 16.2 s, got 102 returning callers at 17.0 to 18.0 s and made 4 attempts; the rest was held and 26 + 47 were refused at 1.8 s. Reports said 0.5 to 0.76. balance.go weight() divided the usual load by the connections of this instance, three at that time, so each placement counted 0.25; growth() took the returning wave for growth of the fleet and doubled every report. All servers looked full (fullLoad) and congested() closed the window. 2. caller/drain.go moved callers from the first moment: 18 of n0's and 8 of n1's came back to the draining node within 0.4 s and were refused.

Now the load of one connection comes from x0 and inflight of the report, callers marked again=1 are no growth, and moves begin at half of the longest deadline.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,6 +33,9 @@
 	samples, clip = 16.0, 1.5
 	// settle is how long a placed connection may be missing from a report.
 	settle = time.Second
+	// fewConns is how many connections a report must count before the load of one of
+	// them is told from it: a nearly empty server's share of noise is large.
+	fewConns = 4.0
 	// behind is how far back the load held is compared with: reports are that
 	// old when it matters.
 	behind = 2 * settle
@@ -367,6 +370,9 @@
 	s.load = load
 	b.answers = min(b.answers+1, samples)
 	b.usual += (min(load, clip) - b.usual) / b.answers
+	if l.Inflight >= 0 {
+		s.each = load / max(l.Inflight, fewConns)
+	}
 }
 
 // loadOf is a server's load as far as known: what it reported and what this
@@ -596,18 +602,22 @@
 	if b.pause > b.set.Tick { // after congestion placements keep a distance
 		b.keepDistance()
 	}
-	s.placed.add(b.now, b.weight(r))
+	s.placed.add(b.now, b.weight(r, s))
 	b.do(Attempt{ID: r.ID, Server: s.ID})
 }
 
-// weight estimates the load that r adds to a server: the usual load over the
-// connections that a server usually holds, by r's hint if it has one.
-func (b *Balancer) weight(r *request) float64 {
-	if b.answers == 0 || b.open == 0 {
-		return 0
+// weight estimates the load that r adds to s, by r's hint if it has one: the
+// load of one connection there by its last report, or else the usual load over
+// the connections that a server usually holds. The second is far off for an
+// instance that has just started and holds hardly any.
+func (b *Balancer) weight(r *request, s *server) float64 {
+	w := s.each
+	if w == 0 {
+		if b.answers == 0 || b.open == 0 {
+			return 0
+		}
+		w = b.usual / (float64(b.open*b.set.Instances) / float64(max(len(b.ready), 1)))
 	}
-	perServer := float64(b.open*b.set.Instances) / float64(max(len(b.ready), 1))
-	w := b.usual / perServer
 	if r.Hint > 0 && b.hint > 0 {
 		w *= r.Hint / b.hint
 	}
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// An instance that has just started holds nothing, and a wave that comes again
+// is no growth of the fleet: taken for one, it once made servers at half of their
+// load look full, and the wave was held until its time was up.
+func TestWaveAfterARestart(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c", "d")
+	l := NoLoad
+	l.X0, l.Inflight = 0.55, 20
+	for i := range 24 {
+		id := fmt.Sprint("r", i)
+		got := d.tell(Request{ID: id, Class: "c", Returned: true, Deadline: d.now + time.Second})
+		for len(pick[Probe](got)) > 0 {
+			got = d.tell(ProbeAnswer{Server: pick[Probe](got)[0].Server, Latency: ms, Load: l})
+		}
+		sent := pick[Attempt](got)
+		if len(sent) == 0 {
+			t.Fatalf("request %d of the wave is held", i)
+		}
+		d.tell(Started{ID: id, Server: sent[0].Server})
+		d.run(d.now + 10*ms)
+	}
+}
+
 func TestDrawsAreUniform(t *testing.T) {
 	const n, each = 20, 500
 	var ids []string
--- a/balance/state.go
+++ b/balance/state.go
@@ -69,6 +69,7 @@
 	probedAt   time.Duration
 	waiting    []*request // held for the probe's answer
 	load       float64    // last reported, or -1
+	each       float64    // load of one connection by that report, or 0
 	placed     fading     // load placed here that reports may not show yet
 	faults     fading     // errors and failed connections of late
 	conns      []*request
@@ -160,6 +161,9 @@
 	// moved the connection it had helped to place.
 	b.enter(r, opened)
 	b.held += r.load
+	if r.Returned { // it was held before, here or elsewhere: the fleet has not grown
+		b.heldBefore += r.load
+	}
 	r.since = b.now
 	r.at, r.place, r.wake = s, len(s.conns), never
 	s.conns = append(s.conns, r)
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -110,7 +110,7 @@
 	}
 	longest = min(longest, longestDrain)
 	slog.Info("draining", "longest", longest)
-	server.Drain(begun.Add(longest), begun.Add(longest+afterDrain))
+	server.Drain(begun.Add(longest/2), begun.Add(longest+afterDrain/2), begun.Add(longest+afterDrain))
 	_ = listener.Close()
 	err = <-served
 	server.Close()
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -251,6 +251,9 @@
 	begun := time.Now()
 	terminate()
 	first := standing[0].line() // accepting goes on while the others stand
+	if after := time.Since(begun); after < 500*time.Millisecond {
+		t.Errorf("moved after %v: the front still sends callers here", after)
+	}
 	if s := call(t, addr, open("b")).line(); s != "BUSY" {
 		t.Errorf("a new caller: %q", s)
 	}
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -14,10 +14,11 @@
 )
 
 // Drain lets the node end: new callers get a busy answer at once, what waits is
-// answered, and every standing connection is moved, evenly until the given
-// time, those that come up later at once. It returns when all are gone or at
-// the end.
-func (s *Server) Drain(evenly, end time.Time) {
+// answered, and every standing connection is moved, evenly between the two given
+// times, those that come up later at once. Nobody is moved before: a caller that
+// is moved while the front still sends here comes back to a busy answer. It
+// returns when all are gone or at the end.
+func (s *Server) Drain(from, until, end time.Time) {
 	begun := time.Now()
 	s.mu.Lock()
 	s.draining = true
@@ -31,7 +32,9 @@
 			break
 		}
 		n := len(standing)
-		if left := evenly.Sub(now); left > step {
+		if now.Before(from) {
+			n = 0
+		} else if left := until.Sub(now); left > step {
 			n = int((time.Duration(n)*step + left - 1) / left)
 		}
 		for _, t := range standing[:n] {
