Let silent callers make room, and answer bad ones within 3 s at little cost

The trace shows 481 legs beside 55 transactions at the socket limit at 10.35 s: callers that said nothing, or PING and no more, held their sockets for firstLine = 5 s, each PING anew, while hold() turned everybody else away.

Checked and ruled out: CPU (0.04 s a second), memory (10 of 64 MB), ids in use (rejected, the owner untouched: TestIdInUse passed before the change too), bad lines at next hops (none of them was forwarded; the 5 that came to servers are valid lines from bad callers).

At fault: caller.go serve (deadline per line), hold (refuses the newest), reject (reads all of 60 MB within its linger: TestErrorOvertakesAFlood), relay.go await (a full buffer hid the caller's end until its answer: TestTooMuchBeforeUp).

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -31,6 +31,9 @@
 	// probeWait is how long a probe may take: longer than a busy next hop
 	// needs, shorter than the module waits before it asks again.
 	probeWait = 500 * time.Millisecond
+	// refused is the pause of callers that are refused unseen: while the node
+	// drains the front still sends some here for 0.4 s.
+	refused = 500 * time.Millisecond
 	// longestDrain and afterDrain: a planned restart leaves the longest
 	// deadline, at most longestDrain, and 0.7 s. What stays of that is room.
 	longestDrain = 3 * time.Second
@@ -94,7 +97,8 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := caller.New(core, c.Limits.Sockets-min(spareSockets, c.Limits.Sockets/4))
+	server := caller.New(core, caller.Limits{Sockets: c.Limits.Sockets - min(spareSockets, c.Limits.Sockets/4),
+		Pause: pause(c.Settings.Limits)})
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
 	parts.Go(func() { reload(ctx, hangUps, c, watch) })
@@ -141,6 +145,14 @@
 	}
 }
 
+// pause is asked of callers that are refused unseen, where the settings allow it.
+func pause(l balance.Limits) time.Duration {
+	if !l.RetryAfter {
+		return 0
+	}
+	return min(refused, l.MaxRetryAfter)
+}
+
 // limit keeps the process within its machine.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -3,25 +3,33 @@
 package caller
 
 import (
+	"container/list"
 	"errors"
-	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
+	"coralrelay/internal/tally"
 )
 
 const (
-	// firstLine is how long a caller may take to send its first line.
-	firstLine = 5 * time.Second
+	// firstLine is how long a caller may take from its connect to the end of its
+	// first line, whatever it sends meanwhile: it is owed an answer within 3 s.
+	firstLine = 2 * time.Second
+	// pings is how many PINGs are answered on one connection: a front asks once
+	// or twice, and an answer costs more than a question.
+	pings = 16
 	// margin is kept back from a caller's deadline: its clock started when it
 	// sent the line, and the answer still has to reach it.
 	margin = 25 * time.Millisecond
 	// writing is how long a short answer may block.
 	writing = time.Second
+	// linger is how long a caller may take to end after a bad line's error.
+	linger = 250 * time.Millisecond
 )
 
 // Decider takes transactions; each is then owed one final answer.
@@ -30,22 +38,30 @@
 	Submit(t *exchange.Transaction)
 }
 
+// Limits bound what callers may use.
+type Limits struct {
+	Sockets int           // that may be in use: one for a caller, one more for its branch
+	Pause   time.Duration // asked of callers who are refused unseen; 0 if none may be
+}
+
 // Server serves callers.
 type Server struct {
 	decider Decider
-	sockets int // that may be in use; beyond it a busy answer
+	limits  Limits
+	bad     tally.Tally
+	failed  tally.Tally
 
 	mu       sync.Mutex
 	draining bool
 	running  map[*exchange.Transaction]struct{}
 	legs     map[net.Conn]struct{}
+	waiting  list.List // of net.Conn: legs that have not opened anything, the oldest first
 	wg       sync.WaitGroup
 }
 
-// New returns a Server that uses so many sockets: one for a caller, and one more
-// for its branch.
-func New(d Decider, sockets int) *Server {
-	return &Server{decider: d, sockets: sockets, running: map[*exchange.Transaction]struct{}{},
+// New returns a Server that keeps to the limits.
+func New(d Decider, l Limits) *Server {
+	return &Server{decider: d, limits: l, running: map[*exchange.Transaction]struct{}{},
 		legs: map[net.Conn]struct{}{}}
 }
 
@@ -55,36 +71,36 @@
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			s.wg.Go(func() { s.serve(conn) })
+			s.wg.Go(func() { s.serve(conn, time.Now().Add(firstLine)) })
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // out of sockets, most likely: others must end first
-			slog.Error("accept", "err", err)
+			s.failed.Warn("accept", "err", err)
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
 }
 
-// serve reads first lines until one opens a connection.
-func (s *Server) serve(conn net.Conn) {
+// serve reads lines until one opens a connection, or until the deadline. A
+// transaction closes its leg itself.
+func (s *Server) serve(conn net.Conn, deadline time.Time) {
+	place := s.hold(conn, deadline)
+	defer s.letGo(conn, place)
 	l := leg.New(conn)
-	if !s.hold(conn) {
-		// Callers that say nothing would use up the sockets unnoticed.
-		s.answer(l, line.Front{}.Busy(0))
-		return
-	}
-	defer s.letGo(conn) // a transaction closes its leg itself
-	for {
-		text, err := l.ReadText(time.Now().Add(firstLine))
+	for asked := 0; ; asked++ {
+		text, err := l.NextText()
 		switch {
-		case err != nil && l.R.Buffered() == 0:
-			l.Release() // gone without a word
+		case err != nil && l.R.Buffered() == 0: // not a word
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				_ = l.WriteText(s.busy(), time.Now().Add(writing))
+			}
+			l.Release()
 			return
 		case err != nil:
 			s.reject(l, err)
 			return
-		case string(text) == line.Ping:
-			if err := l.WriteText(line.Pong, time.Now().Add(writing)); err != nil {
+		case string(text) == line.Ping && asked < pings:
+			if err := l.WriteText(line.Pong, deadline); err != nil {
 				l.Release()
 				return
 			}
@@ -95,21 +111,22 @@
 			s.reject(l, err)
 			return
 		}
-		s.open(l, open)
+		s.open(l, place, open)
 		return
 	}
 }
 
 // open runs a transaction to its end.
-func (s *Server) open(l *leg.Leg, o line.Open) {
-	_ = l.SetReadDeadline(time.Time{})
+func (s *Server) open(l *leg.Leg, place *list.Element, o line.Open) {
 	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, At: o.At,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(o.Wait - margin)},
 		&o, line.Front{}, s.decider, l)
-	if s.admit(t) {
+	admitted := s.admit(t, place)
+	_ = l.SetReadDeadline(time.Time{}) // it can't be told to make room any more
+	if admitted {
 		s.decider.Submit(t)
 	} else {
-		t.Refuse(0)
+		t.Refuse(s.limits.Pause)
 	}
 	t.Run()
 	s.mu.Lock()
@@ -117,11 +134,13 @@
 	s.mu.Unlock()
 }
 
-// admit tells whether there is room for t. While the node drains there is none.
-func (s *Server) admit(t *exchange.Transaction) bool {
+// admit tells whether there is room for t, which the oldest callers that wait
+// have to make. While the node drains there is none.
+func (s *Server) admit(t *exchange.Transaction, place *list.Element) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.used() >= s.sockets {
+	s.waiting.Remove(place)
+	if s.draining || !s.room() {
 		return false
 	}
 	s.running[t] = struct{}{}
@@ -130,36 +149,47 @@
 
 // reject answers a first line that is none, and ends the leg.
 func (s *Server) reject(l *leg.Leg, err error) {
-	slog.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
-	s.answer(l, line.Error)
-}
-
-// answer writes a leg's only answer and ends it.
-func (s *Server) answer(l *leg.Leg, text string) {
-	_ = l.WriteText(text, time.Now().Add(writing))
+	s.bad.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
+	_ = l.WriteText(line.Error, time.Now().Add(writing))
 	l.FinishWrites()
-	_ = l.SetReadDeadline(time.Now().Add(writing / 4))
+	_ = l.SetReadDeadline(time.Now().Add(linger))
 	l.Drain()
 	l.Release()
 }
 
-// hold keeps conn among those that are closed at the end. It is false if there
-// are too many.
-func (s *Server) hold(conn net.Conn) bool {
+// busy words the busy answer to who is refused unseen.
+func (s *Server) busy() string { return line.Front{}.Busy(s.limits.Pause) }
+
+// hold keeps conn among the legs, as one that has not opened anything yet. If
+// there are too many, the one that has waited longest makes room. A usual caller
+// sends its line at once and does not wait.
+func (s *Server) hold(conn net.Conn, deadline time.Time) *list.Element {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.used() >= s.sockets {
+	s.room()
+	_ = conn.SetReadDeadline(deadline) // never moved: room ends the wait by it
+	s.legs[conn] = struct{}{}
+	return s.waiting.PushBack(conn)
+}
+
+// room tells whether there is room for one more socket, if need be that of the
+// caller that has waited longest, under the lock.
+func (s *Server) room() bool {
+	if len(s.legs)+len(s.running) < s.limits.Sockets {
+		return true
+	}
+	oldest := s.waiting.Front()
+	if oldest == nil {
 		return false
 	}
-	s.legs[conn] = struct{}{}
+	s.waiting.Remove(oldest)
+	_ = oldest.Value.(net.Conn).SetReadDeadline(time.Unix(1, 0)) // its read fails, it is answered and closed
 	return true
 }
 
-// used counts the sockets in use, under the lock.
-func (s *Server) used() int { return len(s.legs) + len(s.running) }
-
-func (s *Server) letGo(conn net.Conn) {
+func (s *Server) letGo(conn net.Conn, place *list.Element) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.waiting.Remove(place)
 	delete(s.legs, conn)
 }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -10,6 +10,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/exchange"
+	"coralrelay/internal/tally"
 )
 
 // homeAgain is the pause before a next hop is offered once more what it held.
@@ -33,6 +34,7 @@
 	roster   Roster
 	inbox    chan func()
 	done     chan struct{}
+	bad      tally.Tally
 
 	// What follows belongs to Run's goroutine.
 	classes      map[string]bool
@@ -168,7 +170,7 @@
 			// Ids are new for each connection: a second one would mix up two
 			// transactions in the module. A class that the settings don't name
 			// comes from nobody who may be served.
-			slog.Warn("transaction rejected: id in use or class unknown", "id", t.ID, "class", t.Class)
+			c.bad.Warn("transaction rejected: id in use or class unknown", "id", t.ID, "class", t.Class)
 			t.Fail()
 			return
 		}
@@ -190,7 +192,7 @@
 		Retry: t.Retry, Returned: t.Returned, Deadline: c.clock.At(t.Deadline)}
 }
 
-// CallerGone is told when a caller has left before its answer.
+// CallerGone is told when a caller has left before its answer, or was turned away.
 func (c *Core) CallerGone(t *exchange.Transaction) {
 	c.post(func() {
 		if c.known(t) != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,7 +59,7 @@
 // Watcher is told what becomes of a transaction. Its methods must not wait for
 // the transaction.
 type Watcher interface {
-	CallerGone(t *Transaction)                   // while it waited for its answer
+	CallerGone(t *Transaction)                   // while it waited for its answer, or was turned away meanwhile
 	Ended(t *Transaction, how End)               // after UP; both legs are closed
 	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer, or until now
 	Loaded(t *Transaction, load float64)         // a load note passed
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -231,6 +232,20 @@
 	wait(t, b.finished)
 }
 
+// A caller that sends more before UP than a buffer holds is answered at once: it
+// costs no more memory, and its end can't hide behind what it sent.
+func TestTooMuchBeforeUp(t *testing.T) {
+	b := start(t)
+	say(t, b.caller, strings.Repeat("OPEN a k c=feed,d=1000\r\n", 500))
+	b.expect(t, b.fromNode, "ERR\r\n")
+	wait(t, b.gone)
+	wait(t, b.t.Context().Done())
+	if b.t.Up("UP r1", b.hopLeg) {
+		t.Error("an UP was taken for a caller that was turned away")
+	}
+	wait(t, b.finished)
+}
+
 // Lines pass byte for byte, and a reader that is slow holds up its next hop
 // rather than memory: what was not read is not taken from the next hop either.
 func TestSlowReader(t *testing.T) {
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -62,7 +62,14 @@
 
 // readCaller notices that the caller leaves and, after UP, passes its lines on.
 func (t *Transaction) readCaller() {
-	if !t.await() {
+	switch err := t.await(); {
+	case err == errTooEarly:
+		// It breaks the protocol, and behind what it sent its end would not be
+		// seen: it gets its answer now, unless it has just got one.
+		if t.Fail() {
+			t.watch.CallerGone(t)
+		}
+	case err != nil:
 		t.leave()
 		return
 	}
@@ -79,21 +86,24 @@
 	t.caller.Drain()
 }
 
-// await returns when the caller is answered, or false if it has left before.
-// Lines that come too early stay in the buffer. They must not hide that their
-// caller leaves, so it looks for more behind them, until Up wakes it.
-func (t *Transaction) await() bool {
+// errTooEarly is a caller's that sends more before UP than a buffer holds.
+var errTooEarly = errors.New("too much sent before UP")
+
+// await returns when the caller is answered, or with an error if it has left
+// before or sent too much. Lines that come too early stay in the buffer. They must
+// not hide that their caller leaves, so it looks for more behind them, until Up
+// wakes it.
+func (t *Transaction) await() error {
 	for t.caller.R.Buffered() < leg.Size {
 		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
 		if t.ctx.Err() != nil {
-			return true
+			return nil
 		}
 		if err != nil {
-			return false
+			return err
 		}
 	}
-	<-t.ctx.Done()
-	return true
+	return errTooEarly
 }
 
 // forward passes the caller's lines on until either side ends. It tells whether
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -15,6 +15,13 @@
 // Size is the longest line and the size of every buffer.
 const Size = 4096
 
+// leftover is what Drain reads at full speed, and slowly its pause between two
+// buffers beyond.
+const (
+	leftover = 16 * Size
+	slowly   = 25 * time.Millisecond
+)
+
 var buffers = sync.Pool{New: func() any {
 	return bufio.NewReadWriter(bufio.NewReaderSize(nil, Size), bufio.NewWriterSize(nil, Size))
 }}
@@ -80,6 +87,11 @@
 	if err := l.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
+	return l.NextText()
+}
+
+// NextText returns the next line without its end, by the read deadline as it is.
+func (l *Leg) NextText() ([]byte, error) {
 	line, err := l.ReadRaw()
 	return bytes.TrimRight(line, "\r\n"), err
 }
@@ -120,12 +132,18 @@
 }
 
 // Drain reads and drops until the other side ends or the read deadline has come,
-// so that unread lines don't turn the close into a reset.
+// so that unread lines don't turn the close into a reset, which might overtake the
+// last line written. Beyond leftover it reads slowly: who has 60 MB to send is
+// given the time to read that line, and costs no more than that.
 func (l *Leg) Drain() {
-	for {
-		if _, err := l.R.Discard(max(1, l.R.Buffered())); err != nil {
+	for dropped := 0; ; {
+		n, err := l.R.Discard(max(1, l.R.Buffered()))
+		if err != nil {
 			return
 		}
+		if dropped += n; dropped > leftover {
+			time.Sleep(slowly)
+		}
 	}
 }
 
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -17,6 +16,7 @@
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
 	"coralrelay/internal/roster"
+	"coralrelay/internal/tally"
 )
 
 // Watcher is told what becomes of branches and probes. A branch's socket is
@@ -41,6 +41,7 @@
 	ctx    context.Context // ends every probe connection
 	limits Limits
 	watch  Watcher
+	bad    tally.Tally
 
 	mu   sync.Mutex
 	hops map[string]*hop
@@ -212,7 +213,7 @@
 	case line.Moved:
 		return false, balance.Cancelled, load
 	case line.Malformed:
-		slog.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
+		b.hops.bad.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
 	}
 	return false, balance.Errored, load
 }
