Relieve a server that was overfull from the start within the first seconds

The trace shows s- at load 1.04, service time 141 ms against an aim of 60, from 0.94 s on; n1 saw it six times within 0.2 s and moved nobody, as its budget of moves started from nothing and was spent; the next probe came at 3.51 s by a draw, n0's at 5.10 s. The one look after the takeover got a report of load 0, from before.

Ruled out: reports that lie (inflight and x0 agree with what both nodes hold), delay notes (on sockets a full server answers at once, so none can tell of it).

At fault: balance.go begin (no budget), houseKeep (one look), relieve (no look after a round).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,6 +72,10 @@
 	// lookAfter is how long after connections were taken over their server is
 	// looked at: by then its report shows them. No draw of ours put them there.
 	lookAfter = 500 * time.Millisecond
+	// starting is how long after the start such looks are repeated, after reports
+	// of no load and rounds of moves: what was taken over may be far from even, and
+	// few draws have told of it yet.
+	starting = 5 * time.Second
 	// drainSpread is the time over which connections leave a draining server.
 	drainSpread = 1500 * time.Millisecond
 	// never is a time that does not come.
@@ -157,6 +161,7 @@
 	}
 	b.started = true
 	b.bornAt = b.now
+	b.moves = math.Inf(1) // the first round may use the whole budget
 	b.movesAt, b.rate[0].at, b.rate[1].at = b.now, b.now, b.now
 	// All instances may start in one moment, more than the list can answer
 	// at once: the first calls are spread over half the time allowed.
@@ -325,6 +330,9 @@
 	}
 	s.probing = false
 	if e.Outcome == OK {
+		if e.Load.X0 == 0 && len(s.conns) > 0 && s.lookAt == 0 && b.now-b.bornAt < starting {
+			s.lookAt = b.now + lookAfter // a report from before they were there
+		}
 		b.learnTrip(e.Latency.Seconds())
 		b.report(s, e.Load)
 	} else if e.Outcome == ConnectFailed || e.Outcome == TimedOut {
@@ -829,6 +837,9 @@
 	b.note("moves: %s is at load %.2f, usual %.2f, of %d connections some move",
 		s.ID, s.load, b.usual, len(s.conns))
 	s.relievedAt = b.now + b.jitter(relieveEvery, 0.3)
+	if b.now-b.bornAt < starting {
+		s.lookAt = s.relievedAt // to see whether it was enough
+	}
 }
 
 func (b *Balancer) move(r *request) {
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -477,6 +477,29 @@
 
 // A server that was overfull when its connections were taken over is looked at
 // once, although no request draws it and no note tells of it.
+// A server that was overfull from the start is relieved in its first seconds: a
+// report from before is asked for again, the first round has the whole budget of
+// moves, and after it the server is looked at again, all without a draw.
+func TestOverfullFromTheStart(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 40 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	loads := []float64{0, 1.06, 0.9, 0.5} // as its reports tell, one after the other
+	var moved []int
+	for range 24 {
+		for _, p := range pick[Probe](d.run(d.now + house)) {
+			if len(moved) == len(loads) {
+				t.Fatalf("%s is probed again", p.Server)
+			}
+			moved = append(moved, len(pick[Move](d.answer(p.Server, loads[len(moved)]))))
+		}
+	}
+	if len(moved) != 4 || moved[0] != 0 || moved[1] < 6 || moved[2] == 0 || moved[3] != 0 {
+		t.Errorf("moved %v after each look, want none, a good part, some more, none", moved)
+	}
+}
+
 func TestTakenOverServersAreLookedAt(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
 	d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
