Leave callers on busy servers that are below their capacity

Each move costs its caller a gap and its new server a group's load.

At fault: balance.go relieveOver 0.75, overload 0.82, relieveTo 0.6, fullLoad 0.72. Now 0.92, 0.97, 0.75, 0.85.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,10 +39,10 @@
 	// behind is how far back the load held is compared with: reports are that
 	// old when it matters.
 	behind = 2 * settle
-	// fullLoad is the load at which one more connection harms all of a
-	// server's: queues grow steeply from about three quarters on, and loads
+	// fullLoad is the load at which one more connection may harm all of a server's:
+	// served well up to its capacity, it serves nobody in time beyond, and loads
 	// change after placement. Drawing ends in a wait rather than there.
-	fullLoad = 0.72
+	fullLoad = 0.85
 	// firstPause and longestPause bound the pause that answers congestion: from
 	// a few round trips to what a waiting client bears. widest is a window that
 	// holds nothing up.
@@ -59,10 +59,11 @@
 	coldPart = 0.5
 	// relieveOver is the load above which a server sheds connections if it is
 	// also uneven times above the fleet's usual, down to that but not below
-	// relieveTo: what moves costs its client a moment, so noise must not do it.
-	// Above overload it sheds wherever the others stand: a full server serves
-	// nobody, and its clients wait better outside.
-	relieveOver, relieveTo, uneven, overload = 0.75, 0.6, 1.35, 0.82
+	// relieveTo: what moves costs its client a moment and its new server a group's
+	// load, so neither noise nor a load that is still served well must do it. Above
+	// overload it sheds wherever the others stand: a full server serves nobody, and
+	// its clients wait better outside.
+	relieveOver, relieveTo, uneven, overload = 0.92, 0.75, 1.35, 0.97
 	// relieveEvery is the pause between two rounds of moves from a server, so
 	// that the reports show the first before the second is decided.
 	relieveEvery = 2 * time.Second
