Ask a dead list service every 2 s, bound a caller's wait, read its numbers strictly

Checked while rereading, against PROTOCOL: what discovery has to tell counts as told after 6 s, but listUpdate's back-off grew to 7.5 s (probe in TestDeadListIsAskedOften: gaps of 4.3, 6.5, 7.5 s); it now stays under 3.5 s for few instances. d=4294967 let a caller hold its sockets for 71 minutes (caller.go open); now 40 s, after which the protocol has no use for it. line.go number took 0x1p4, and of a name given twice the last counted, which a next hop may read otherwise.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -865,8 +865,10 @@
 			b.note("server list unreachable: %d calls failed in a row, the last list stays", b.failures)
 		}
 		// Jittered back-off, well inside the time in which an asked list must
-		// be asked again.
-		pause := min(settle<<min(b.failures-1, 8)/2, b.set.AskWithin/2)
+		// be asked again; but what changes while it is down counts as told soon, so
+		// few instances ask more often than many.
+		longest := max(longestPause, time.Duration(b.set.Instances)*settle/2)
+		pause := min(settle<<min(b.failures-1, 8)/2, longest, b.set.AskWithin/2)
 		b.askAt = b.now + b.jitter(pause, 0.5)
 		return
 	}
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -263,6 +263,24 @@
 	}
 }
 
+// A few instances ask a dead list service every 2 s or so: what it has to tell
+// counts as told after some seconds, whether it could be asked or not.
+func TestDeadListIsAskedOften(t *testing.T) {
+	set := settings()
+	set.ListAsked, set.Instances = true, 3
+	d := newBench(t, set, "a")
+	d.run(d.now + set.AskWithin)
+	for i := range 8 {
+		failed := d.now
+		d.list(ListFailed)
+		for len(pick[Subscribe](d.run(d.now+100*ms))) == 0 && d.now < failed+set.AskWithin {
+		}
+		if gap := d.now - failed; gap > 3500*ms {
+			t.Errorf("call %d came after %v", i, gap)
+		}
+	}
+}
+
 func TestSubscription(t *testing.T) {
 	set := settings()
 	set.ListAsked, set.Instances = true, 50
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -26,6 +26,9 @@
 	// margin is kept back from a caller's deadline: its clock started when it
 	// sent the line, and the answer still has to reach it.
 	margin = 25 * time.Millisecond
+	// longestWait bounds what a caller may ask for: a connection that its next hop
+	// still holds is lost after 40 s, and usual ones are given up far sooner.
+	longestWait = 40 * time.Second
 	// writing is how long a short answer may block.
 	writing = time.Second
 	// linger is how long a caller may take to end after a bad line's error.
@@ -119,7 +122,7 @@
 // open runs a transaction to its end.
 func (s *Server) open(l *leg.Leg, place *list.Element, o line.Open) {
 	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, At: o.At,
-		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(o.Wait - margin)},
+		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(min(o.Wait, longestWait) - margin)},
 		&o, line.Front{}, s.decider, l)
 	admitted := s.admit(t, place)
 	_ = l.SetReadDeadline(time.Time{}) // it can't be told to make room any more
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,11 +50,16 @@
 	}
 	o := Open{ID: words[1], Key: words[2]}
 	at := len(s) - len(words[3])
+	var given []string
 	for pair := range strings.SplitSeq(words[3], ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok || name == "" {
 			return Open{}, fmt.Errorf("first line: %.40q is no name and value", pair)
 		}
+		if slices.Contains(given, name) {
+			return Open{}, fmt.Errorf("first line: %.40q given twice", name)
+		}
+		given = append(given, name)
 		if err := o.set(name, value); err != nil {
 			return Open{}, fmt.Errorf("first line: %s: %w", name, err)
 		}
@@ -82,12 +88,12 @@
 		o.Again = value == "1"
 	case "h":
 		h, err := number(value)
+		if err == nil && h < 0 {
+			err = fmt.Errorf("%.40q is negative", value)
+		}
 		o.Hint = h
 		return err
 	case "d":
-		if o.head != "" || o.Wait != 0 {
-			return errors.New("given twice")
-		}
 		ms, err := number(value)
 		if err != nil {
 			return err
@@ -100,10 +106,11 @@
 	return nil // further figures go on as they are
 }
 
-// number reads a finite number.
+// number reads a finite decimal number. Go's other forms, such as 0x1p4 and 1_0,
+// are none to a next hop that gets the line as it came.
 func number(s string) (float64, error) {
 	f, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+	if err != nil || strings.Trim(s, "0123456789+-.eE") != "" || math.IsNaN(f) || math.IsInf(f, 0) {
 		return 0, fmt.Errorf("%.40q is no number", s)
 	}
 	return f, nil
