--- a/balance/balance.go
+++ b/balance/balance.go
@@ -109,7 +109,11 @@
 	}
 	b.rate[0].span, b.rate[1].span = max(set.Rules.FallAfter, settle), 10*max(set.Rules.FallAfter, settle)
 	for i := range set.Classes {
-		b.classes[set.Classes[i].Name] = &set.Classes[i]
+		c := &set.Classes[i]
+		b.classes[c.Name] = c
+		if b.slow == 0 || c.MessageAim > 0 && c.MessageAim < b.slow {
+			b.slow = c.MessageAim
+		}
 	}
 	return b, nil
 }
@@ -376,6 +380,9 @@
 	if load < 0 {
 		return
 	}
+	if b.slow > 0 && l.Latency/1000 > b.slow.Seconds() {
+		load = max(load, 1) // it serves nobody in time, whatever its cores could do
+	}
 	s.load = load
 	b.answers = min(b.answers+1, samples)
 	b.usual += (min(load, clip) - b.usual) / b.answers
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -510,6 +510,22 @@
 	}
 }
 
+// A server may be slow with cores to spare, as a noisy neighbour takes them. Where a
+// message takes longer than its aim, it serves nobody, and counts as full.
+func TestSlowIsFull(t *testing.T) {
+	for latency, want := range map[float64]bool{20: true, 300: false} {
+		d := newBench(t, settings(), "a")
+		d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		l := NoLoad
+		l.X0, l.Latency = 0.4, latency
+		d.request("r")
+		got := d.tell(ProbeAnswer{Server: "a", Latency: ms, Load: l})
+		if sent := len(pick[Attempt](got)) > 0; sent != want {
+			t.Errorf("sent there with a service time of %v ms: %v, want %v", latency, sent, want)
+		}
+	}
+}
+
 // A server that was overfull from the start is relieved in its first seconds: a
 // report from before is asked for again, the first round has the whole budget of
 // moves, and after it the server is looked at again, all without a draw.
--- a/balance/state.go
+++ b/balance/state.go
@@ -42,13 +42,14 @@
 	pause    time.Duration
 	pausedTo time.Duration
 
-	usual   float64   // mean load seen of late
-	answers float64   // how many answers it is taken from
-	rtt     float64   // usual time of a probe, seconds
-	rttDev  float64   // and its mean deviation
-	rate    [2]fading // placements a second: of late, and usual
-	hint    float64   // mean hint of connections
-	moves   float64   // moves that may be made now
+	slow    time.Duration // the shortest message aim: a service time beyond it helps nobody
+	usual   float64       // mean load seen of late
+	answers float64       // how many answers it is taken from
+	rtt     float64       // usual time of a probe, seconds
+	rttDev  float64       // and its mean deviation
+	rate    [2]fading     // placements a second: of late, and usual
+	hint    float64       // mean hint of connections
+	moves   float64       // moves that may be made now
 	movesAt time.Duration
 
 	started    bool
