Probe a server that holds connections once a second at least

The trace: s- was at load 1.1 to 1.5 with a service time of 107 to 1357 ms from 9.2 to 19 s. n1 met it by draws at 9.2, 12.1 and 16.0 s; n0, which held seven connections there, not before 17.1 s.

Ruled out: stale reports (both nodes got the same figures within 0.2 s), delay notes (none: a slow server's socket answers lines at once), the probe connection.

At fault: balance.go houseKeep looked once after a takeover and never again; only draws told of a server, one or two a second over five servers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -72,11 +72,10 @@
 	movesPerSecond = 0.1
 	// lookAfter is how long after connections were taken over their server is
 	// looked at: by then its report shows them. No draw of ours put them there.
-	lookAfter = 500 * time.Millisecond
-	// starting is how long after the start such looks are repeated, after reports
-	// of no load and rounds of moves: what was taken over may be far from even, and
-	// few draws have told of it yet.
-	starting = 5 * time.Second
+	// lookEvery is how long a server that holds connections goes unprobed at most:
+	// where nothing tells of its delays, draws alone may not meet it for many
+	// seconds, and it serves nobody meanwhile if it has grown full or slow.
+	lookAfter, lookEvery = 500 * time.Millisecond, time.Second
 	// drainSpread is the time over which connections leave a draining server.
 	drainSpread = 1500 * time.Millisecond
 	// never is a time that does not come.
@@ -310,7 +309,7 @@
 
 func (b *Balancer) probe(s *server) {
 	if !s.probing || b.now-s.probedAt > settle {
-		s.probing, s.probedAt = true, b.now
+		s.probing, s.probedAt, s.lookAt = true, b.now, b.now+lookEvery
 		b.do(Probe{Server: s.ID})
 	}
 }
@@ -335,7 +334,7 @@
 	}
 	s.probing = false
 	if e.Outcome == OK {
-		if e.Load.X0 == 0 && len(s.conns) > 0 && s.lookAt == 0 && b.now-b.bornAt < starting {
+		if e.Load.X0 == 0 && len(s.conns) > 0 {
 			s.lookAt = b.now + lookAfter // a report from before they were there
 		}
 		b.learnTrip(e.Latency.Seconds())
@@ -793,10 +792,7 @@
 	b.houseAt = b.now + house
 	b.do(SetTimer{Delay: house})
 	for _, s := range b.ready {
-		// Where a server was overfull from the start and nothing tells of its
-		// delays, only the chance of a draw would show it.
-		if s.lookAt > 0 && b.now >= s.lookAt && b.probesTell() {
-			s.lookAt = 0
+		if len(s.conns) > 0 && b.now >= s.lookAt && b.probesTell() {
 			b.probe(s)
 		}
 	}
@@ -845,9 +841,7 @@
 	b.note("moves: %s is at load %.2f, usual %.2f, of %d connections some move",
 		s.ID, s.load, b.usual, len(s.conns))
 	s.relievedAt = b.now + b.jitter(relieveEvery, 0.3)
-	if b.now-b.bornAt < starting {
-		s.lookAt = s.relievedAt // to see whether it was enough
-	}
+	s.lookAt = s.relievedAt // to see whether it was enough
 }
 
 func (b *Balancer) move(r *request) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -76,7 +76,7 @@
 	conns      []*request
 	checkAt    time.Duration // no check probe before
 	relievedAt time.Duration // no moves before
-	lookAt     time.Duration // to be probed then, as its connections were taken over; 0 if not
+	lookAt     time.Duration // to be probed by then if it holds connections
 }
 
 // group is what this instance holds of a group of connections.
