--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,7 +63,7 @@
 	// load, so neither noise nor a load that is still served well must do it. Above
 	// overload it sheds wherever the others stand: a full server serves nobody, and
 	// its clients wait better outside.
-	relieveOver, relieveTo, uneven, overload = 0.92, 0.75, 1.35, 0.97
+	relieveOver, relieveTo, uneven, overload = 0.82, 0.7, 1.35, 0.97
 	// relieveEvery is the pause between two rounds of moves from a server, so
 	// that the reports show the first before the second is decided.
 	relieveEvery = 2 * time.Second
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -526,6 +526,21 @@
 	}
 }
 
+// A server that is far above an easy fleet sheds callers sooner: on a calm day its
+// load swings over its capacity now and then, and others have room.
+func TestUnevenLoadIsRelieved(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 40 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	for range 16 {
+		d.answer("b", 0.4)
+	}
+	if got := pick[Move](d.answer("a", 0.87)); len(got) == 0 {
+		t.Error("nobody moved from a server at load 0.87 beside one at 0.40")
+	}
+}
+
 // A server that was overfull from the start is relieved in its first seconds: a
 // report from before is asked for again, the first round has the whole budget of
 // moves, and after it the server is looked at again, all without a draw.
