--- /dev/null
+++ b/cmd/coralctl/main.go
@@ -0,0 +1,165 @@
+// Command coralctl is for people: it checks, explains and exports an operator's
+// file, makes keys and looks into a store.
+package main
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"coralrelay/internal/keyfile"
+	"coralrelay/internal/ledger"
+	"coralrelay/internal/operator/schema"
+	"coralrelay/internal/resume"
+	"coralrelay/internal/store"
+)
+
+// unusable is the exit code for a file that can't be used.
+const unusable = 2
+
+type cli struct {
+	Check   checkCmd   `cmd:"" help:"Check an operator's file; exit 2 names file, line, key, what was found and what is allowed."`
+	Explain explainCmd `cmd:"" help:"List the keys of an operator's file, or those below a prefix."`
+	Export  exportCmd  `cmd:"" help:"Print an operator's file as complete JSON, as the node reads it."`
+	Key     struct {
+		New  keyNewCmd  `cmd:"" help:"Make a key for resume tokens."`
+		List keyListCmd `cmd:"" help:"List a folder's keys, not their secrets."`
+	} `cmd:"" help:"Keys for resume tokens."`
+	Store struct {
+		Ledger storeLedgerCmd `cmd:"" help:"Show a ledger of spent tokens."`
+	} `cmd:"" help:"Look into a store that no node has open."`
+}
+
+// A fileArg is a file of the operator's.
+type fileArg struct {
+	File string `arg:"" help:"The operator's file, CUE or JSON."`
+}
+
+func (f *fileArg) export() ([]byte, error) {
+	src, err := os.ReadFile(f.File)
+	if err != nil {
+		return nil, err
+	}
+	return schema.Export(f.File, src)
+}
+
+type checkCmd struct{ fileArg }
+
+func (c *checkCmd) Run() error {
+	if _, err := c.export(); err != nil {
+		return err
+	}
+	fmt.Println(c.File + ": ok")
+	return nil
+}
+
+type exportCmd struct{ fileArg }
+
+func (c *exportCmd) Run() error {
+	raw, err := c.export()
+	if err == nil {
+		fmt.Println(string(raw))
+	}
+	return err
+}
+
+type explainCmd struct {
+	Key string `arg:"" optional:"" help:"A key or the beginning of one, such as resume.ledger."`
+}
+
+func (c *explainCmd) Run() error {
+	keys, err := schema.Keys(c.Key)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	for _, k := range keys {
+		fmt.Fprintf(w, "%s\t%s\t%s\n", k.Name, k.Type, k.About)
+	}
+	return w.Flush()
+}
+
+type keyNewCmd struct {
+	Folder    string        `arg:"" help:"The folder that resume.keys names."`
+	SignsFrom time.Duration `name:"signs-in" default:"10m" help:"When it begins to sign; the first key does at once. Until then every node must have it and have been sent SIGHUP."`
+}
+
+func (c *keyNewCmd) Run() error {
+	if have, _ := filepath.Glob(filepath.Join(c.Folder, "*.key")); len(have) == 0 {
+		c.SignsFrom = 0
+	}
+	path, id, err := keyfile.New(c.Folder, time.Now().Add(c.SignsFrom))
+	if err == nil {
+		fmt.Printf("key %v in %s, signs in %v\n", id, path, c.SignsFrom)
+	}
+	return err
+}
+
+type keyListCmd struct {
+	Folder string `arg:"" help:"The folder that resume.keys names."`
+}
+
+func (c *keyListCmd) Run() error {
+	ring, err := keyfile.Load(c.Folder)
+	if err != nil {
+		return err
+	}
+	signer, _ := ring.Signer(time.Now())
+	for _, k := range ring.Keys() {
+		state := "verifies"
+		if k == signer {
+			state = "signs"
+		} else if k.SignsFrom.After(time.Now()) {
+			state = "verifies, will sign"
+		}
+		fmt.Printf("%v  from %s  %s\n", k.ID, k.SignsFrom.Format(time.RFC3339), state)
+	}
+	return nil
+}
+
+type storeLedgerCmd struct {
+	File string `arg:"" help:"The ledger's file, ledger.db."`
+}
+
+func (c *storeLedgerCmd) Run() error {
+	s, err := store.Open(c.File, ledger.Schema, store.Options{ReadOnly: true})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	file, _ := s.Size()
+	fmt.Printf("ledger %v, layout %d, %d bytes\n", s.ID, s.Layout(), file)
+	total := 0
+	err = s.View(func(tx *store.Tx) error {
+		spent := tx.Bucket([]byte("spent"))
+		return spent.ForEachBucket(func(k []byte) error {
+			n := spent.Bucket(k).Stats().KeyN
+			total += n
+			until := time.UnixMilli((int64(binary.BigEndian.Uint64(k)) + 1) * resume.WindowLength.Milliseconds())
+			fmt.Printf("  expire by %s: %d spent\n", until.Format(time.RFC3339), n)
+			return nil
+		})
+	})
+	fmt.Printf("%d spent tokens\n", total)
+	return err
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("coralctl"), kong.UsageOnError(),
+		kong.Description("Check operator's files, make keys, look into stores."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		var missing *os.PathError
+		if errors.As(err, &missing) {
+			os.Exit(1)
+		}
+		os.Exit(unusable)
+	}
+}
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -16,12 +16,17 @@
 	"syscall"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"coralrelay/balance"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/logs"
 	"coralrelay/internal/nexthop"
+	"coralrelay/internal/operator"
 	"coralrelay/internal/roster"
+	"coralrelay/internal/sabotage"
 )
 
 const (
@@ -40,13 +45,82 @@
 	afterDrain   = 400 * time.Millisecond
 )
 
+// cli is the command line. Without a command the node serves.
+type cli struct {
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve, as told by the environment and the file that BALANCER_CONFIG names (default)."`
+	Version versionCmd `cmd:"" help:"Print the version and end."`
+}
+
+type serveCmd struct {
+	Config string `placeholder:"FILE" help:"The operator's own file, CUE or JSON; without it all that goes beyond the platform is off."`
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("coralrelay", version())
+	return nil
+}
+
+// version is what the build knows of its commit.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	revision, changed := "", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+changes"
+		}
+	}
+	return info.Main.Version + " " + revision + changed + " " + info.GoVersion
+}
+
 func main() {
-	if err := run(); err != nil {
+	// Caught from the first moment on: unhandled, either would end the process.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	logs.Set(os.Stderr, false)
+	k := kong.Parse(&cli{}, kong.Name("coralrelay"), kong.Description(about),
+		kong.BindTo(terminate, (*context.Context)(nil)), kong.Bind((<-chan os.Signal)(hangUps)))
+	if err := k.Run(); err != nil {
 		slog.Error("coralrelay", "err", err)
 		os.Exit(1)
 	}
 }
 
+const about = `One node of a load balancer for connections that live from seconds to minutes.
+
+The platform tells a node what it needs in the JSON file that $BALANCER_CONFIG names; $BALANCER_NAME,
+$BALANCER_LISTEN and $BALANCER_DISCOVERY win over the file. SIGHUP reads both files again, SIGTERM
+moves the connections and ends. README.md has the keys.`
+
+func (c *serveCmd) Run(terminate context.Context, hangUps <-chan os.Signal) error {
+	own := operator.Default()
+	if c.Config != "" {
+		var err error
+		if own, err = operator.Load(c.Config); err != nil {
+			return err
+		}
+		logs.Set(os.Stderr, own.Log.Format == "json")
+		if err := logs.SetLevel(own.Log.Level); err != nil {
+			return err
+		}
+	}
+	platform, err := config.Load(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	limit(platform.Limits)
+	return serve(terminate, hangUps, platform, own, c.Config)
+}
+
 // fleet passes a list on: first the addresses, then the decision.
 type fleet struct {
 	hops *nexthop.Hops
@@ -54,30 +128,22 @@
 }
 
 func (f *fleet) Listed(u roster.Update) {
+	if sabotage.On("drain") {
+		for i := range u.Entries {
+			if u.Entries[i].State == balance.Draining {
+				u.Entries[i].State = balance.Ready
+			}
+		}
+	}
 	if u.Kind != balance.ListFailed {
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
 	}
 	f.core.Listed(u.List())
 }
 
-func run() error {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	// Caught from the first moment on: unhandled, either would end the process.
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	c, err := config.Load(os.Getenv)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	limit(c.Limits)
-	return serve(terminate, hangUps, c)
-}
-
 // serve runs the node until terminate ends, and then lets it end in good order.
 // On each hang-up the configuration is read again, also while the node ends.
-func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config) error {
+func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operator.File, path string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -99,9 +165,20 @@
 	}
 	server := caller.New(core, caller.Limits{Sockets: c.Limits.Sockets - min(spareSockets, c.Limits.Sockets/4),
 		Pause: pause(c.Settings.Limits)})
+	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
+	if err != nil {
+		return err
+	}
+	if resume != nil {
+		server.Continuities = resume.sessions
+	}
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
-	parts.Go(func() { reload(ctx, hangUps, c, watch) })
+	parts.Go(func() {
+		platform, own := c, own // what is in force, which differs from the start's
+		reload(ctx, hangUps, func() { platform = reloadPlatform(platform, watch) },
+			func() { own = reloadOwn(own, path, resume) })
+	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
@@ -114,6 +191,7 @@
 	}
 	longest = min(longest, longestDrain)
 	slog.Info("draining", "longest", longest)
+	resume.leave()
 	server.Drain(begun.Add(longest/2), begun.Add(longest+afterDrain/2), begun.Add(longest+afterDrain))
 	_ = listener.Close()
 	err = <-served
@@ -122,29 +200,58 @@
 	return err
 }
 
-// reload reads the configuration again on each hang-up, until ctx ends. A file
-// that can't be used changes nothing.
-func reload(ctx context.Context, hangUps <-chan os.Signal, c config.Config, watch *roster.Watch) {
+// reload does what is given on each hang-up, until ctx ends.
+func reload(ctx context.Context, hangUps <-chan os.Signal, do ...func()) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangUps:
 		}
-		next, fixed, err := c.Reload(os.Getenv)
-		if err != nil {
-			slog.Error("reload: the old configuration stays", "err", err)
-			continue
+		for _, f := range do {
+			f()
 		}
-		if len(fixed) > 0 {
-			slog.Warn("reload: these keys change with a restart only", "keys", fixed)
-		}
-		slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery)
-		c = next
-		watch.Follow(c.Discovery)
 	}
 }
 
+// reloadPlatform reads the platform's configuration again. A file that can't be
+// used changes nothing.
+func reloadPlatform(c config.Config, watch *roster.Watch) config.Config {
+	next, fixed, err := c.Reload(os.Getenv)
+	if err != nil {
+		slog.Error("reload: the old configuration stays", "err", err)
+		return c
+	}
+	if len(fixed) > 0 {
+		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+	}
+	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery)
+	watch.Follow(next.Discovery)
+	return next
+}
+
+// reloadOwn reads the operator's file again, if there is one.
+func reloadOwn(own operator.File, path string, r *resumption) operator.File {
+	if path == "" {
+		return own
+	}
+	next, err := operator.Load(path)
+	if err != nil {
+		slog.Error("reload: the operator's old file stays", "err", err)
+		return own
+	}
+	if fixed := own.Fixed(&next); len(fixed) > 0 {
+		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+	}
+	if err := logs.SetLevel(next.Log.Level); err != nil {
+		slog.Error("reload", "err", err)
+	}
+	if err := r.change(next.Resume); err != nil {
+		slog.Error("reload: the old keys stay", "err", err)
+	}
+	return next
+}
+
 // pause is asked of callers that are refused unseen, where the settings allow it.
 func pause(l balance.Limits) time.Duration {
 	if !l.RetryAfter {
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"coralrelay/internal/config"
+	"coralrelay/internal/operator"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -144,7 +145,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, nil, c) }()
+	go func() { ended <- serve(ctx, nil, c, operator.Default(), "") }()
 	t.Cleanup(cancel)
 	ready(t, addr)
 	return addr, cancel, ended
--- /dev/null
+++ b/deploy/operator.cue
@@ -0,0 +1,27 @@
+// The operator's own file: what this installation switches on beyond the platform.
+// Every key stands here with its default; all is off. Start the node with
+//
+//	bin/coralrelay --config deploy/operator.cue
+//
+// and see 'bin/coralctl explain' for what each key allows. The platform's line
+// 'run' names no such file: it has no lasting disk and no talk among nodes.
+
+log: {
+	level:  "info" // debug, info, warn, error
+	format: "text" // or "json"
+}
+
+// Moving with a resume token: docs/operate/resume.md.
+resume: {
+	enabled: false
+	keys:    ""      // "/etc/coralrelay/keys", made with 'coralctl key new'
+	life:    "1m"    // of a token: longer than clients take to come back
+	skew:    "5s"    // by which nodes' clocks may differ
+	wait:    "150ms" // for an arbiter; then the client gets a snapshot
+	ledger: {
+		dir:     ""      // "/var/lib/coralrelay": a folder that survives restarts
+		records: 1000000 // spent tokens remembered at most
+		listen:  ""      // "10.0.0.4:7171": where other nodes ask
+		peers: {} // {n2: "10.0.0.5:7171", n3: "10.0.0.6:7171"}
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -41,6 +41,12 @@
 	Submit(t *exchange.Transaction)
 }
 
+// Continuities gives a caller that asks for it what lets it go on where it was
+// when it is moved; nil if nothing does.
+type Continuities interface {
+	Continuity(o *line.Open) exchange.Continuity
+}
+
 // Limits bound what callers may use.
 type Limits struct {
 	Sockets int           // that may be in use: one for a caller, one more for its branch
@@ -49,6 +55,8 @@
 
 // Server serves callers.
 type Server struct {
+	Continuities Continuities // nil where it is not switched on; set before Serve
+
 	decider Decider
 	limits  Limits
 	bad     tally.Tally
@@ -124,6 +132,9 @@
 	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, At: o.At,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(min(o.Wait, longestWait) - margin)},
 		&o, line.Front{}, s.decider, l)
+	if s.Continuities != nil && o.Resume != "" {
+		t.Continuity = s.Continuities.Continuity(&o)
+	}
 	admitted := s.admit(t, place)
 	_ = l.SetReadDeadline(time.Time{}) // it can't be told to make room any more
 	if admitted {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -44,6 +44,19 @@
 	Notice(line []byte) (Notice, float64)
 }
 
+// Continuity lets a caller that is moved go on where it was. A transaction whose
+// caller did not ask for it has none.
+type Continuity interface {
+	// Begin returns the line that starts the stream at a next hop which answered
+	// with up; empty if it takes none. It may wait, but not beyond ctx.
+	Begin(ctx context.Context, up string) string
+	// Passed is told each line of the next hop, before the caller is sent it.
+	Passed(line []byte)
+	// Ticket returns what the caller is to bring along; empty if nothing. All that
+	// was passed has been written, or will be before it.
+	Ticket() string
+}
+
 // End is how a connection that stood has ended.
 type End int
 
@@ -75,6 +88,7 @@
 type Transaction struct {
 	Request
 	Opening
+	Continuity // nil if its caller did not ask for it
 
 	front  Front
 	watch  Watcher
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"errors"
 	"io"
 	"os"
@@ -155,6 +156,7 @@
 	if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
 		return t.cut(a.hop, CallerLeft)
 	}
+	defer t.begin(a)()
 	how := Broken
 	for {
 		line, err := a.hop.ReadRaw()
@@ -169,10 +171,14 @@
 			t.watch.Loaded(t, x)
 		case NoticeMove:
 			how = Moved
+			line = t.withTicket(line)
 		case NoticeBye:
 			how = Served
 		default:
 			t.heard(a.hop)
+			if t.Continuity != nil {
+				t.Passed(line)
+			}
 		}
 		if _, err := t.caller.W.Write(line); err != nil {
 			return t.cut(a.hop, CallerLeft)
@@ -217,6 +223,10 @@
 		how = Moved
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		how = Silent
+	case t.rescue():
+		_ = hop.Close()
+		t.caller.FinishWrites()
+		return Broken
 	case errors.Is(err, io.EOF):
 	default:
 		t.caller.Abort() // reset, as its next hop was
@@ -224,12 +234,62 @@
 	}
 	_ = hop.Close()
 	if how == Silent || moving && how == Moved {
-		_ = t.caller.WriteText(t.front.Move(), time.Now().Add(stall))
+		_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
 	}
 	t.caller.FinishWrites()
 	return how
 }
 
+// begin starts the stream of a caller that can go on where it was: beside the
+// relay, as a token's arbiter may take its time and UP is not held back for it.
+// The function returned waits until nothing writes to the next hop any more.
+func (t *Transaction) begin(a answer) (end func()) {
+	if t.Continuity == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if text := t.Begin(ctx, a.line); text != "" && ctx.Err() == nil {
+			_ = a.hop.SetWriteDeadline(time.Now().Add(stall))
+			_, _ = a.hop.Conn.Write([]byte(text + "\r\n")) // if it fails, the relay sees the end too
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// moveLine words the move, with the ticket if there is one.
+func (t *Transaction) moveLine() string {
+	text := t.front.Move()
+	if t.Continuity != nil {
+		if ticket := t.Ticket(); ticket != "" {
+			text += " " + ticket
+		}
+	}
+	return text
+}
+
+// withTicket gives the next hop's own move line the ticket.
+func (t *Transaction) withTicket(line []byte) []byte {
+	if t.Continuity == nil {
+		return line
+	}
+	return []byte(t.moveLine() + "\r\n")
+}
+
+// rescue moves a caller whose next hop broke off, if it can go on where it was.
+func (t *Transaction) rescue() bool {
+	if t.Continuity == nil {
+		return false
+	}
+	ticket := t.Ticket()
+	return ticket != "" && t.caller.WriteText(t.front.Move()+" "+ticket, time.Now().Add(stall)) == nil
+}
+
 // cut ends the next hop's side at once.
 func (t *Transaction) cut(hop *leg.Leg, how End) End {
 	_ = hop.Close()
--- /dev/null
+++ b/internal/keyfile/keyfile.go
@@ -0,0 +1,119 @@
+// Package keyfile keeps an installation's resume keys, one in each file of a
+// folder.
+package keyfile
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"coralrelay/internal/resume"
+)
+
+const (
+	suffix = ".key"
+	head   = "coralrelay-resume-key-1"
+	mode   = 0o600
+	// largest bounds what is read of a key file.
+	largest = 4096
+	// most keys are read of a folder: each is tried by id, and a ring is small.
+	most = 64
+)
+
+// New writes a fresh key into the folder, which signs from the given time on, and
+// returns its file.
+func New(folder string, signsFrom time.Time) (path string, id resume.KeyID, err error) {
+	var raw [4 + resume.SecretSize]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return "", 0, err
+	}
+	id = resume.KeyID(binary.BigEndian.Uint32(raw[:]))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return "", 0, err
+	}
+	path = filepath.Join(folder, id.String()+suffix)
+	text := fmt.Sprintf("%s\nid %v\nsigns-from %s\nsecret %s\n", head, id, signsFrom.UTC().Format(time.RFC3339),
+		hex.EncodeToString(raw[4:]))
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return "", 0, err
+	}
+	_, err = f.WriteString(text)
+	return path, id, errors.Join(err, f.Sync(), f.Close())
+}
+
+// Load reads a folder's keys.
+func Load(folder string) (*resume.Ring, error) {
+	paths, err := filepath.Glob(filepath.Join(folder, "*"+suffix))
+	if err != nil {
+		return nil, err
+	}
+	if len(paths) == 0 {
+		return nil, fmt.Errorf("%s: no file *%s; make one with 'coralctl key new'", folder, suffix)
+	}
+	if len(paths) > most {
+		return nil, fmt.Errorf("%s: %d keys, at most %d are read; remove those whose tokens have expired", folder, len(paths), most)
+	}
+	var keys []*resume.Key
+	for _, path := range paths {
+		k, err := read(path)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		keys = append(keys, k)
+	}
+	return resume.NewRing(keys...)
+}
+
+func read(path string) (*resume.Key, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	info, err := f.Stat()
+	switch {
+	case err != nil:
+		return nil, err
+	case info.Mode().Perm()&0o077 != 0:
+		return nil, fmt.Errorf("mode is %04o, others may read it; want %04o", info.Mode().Perm(), mode)
+	case info.Size() > largest:
+		return nil, fmt.Errorf("%d bytes is no key", info.Size())
+	}
+	text := make([]byte, info.Size())
+	if _, err := f.Read(text); err != nil {
+		return nil, err
+	}
+	lines := strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	if len(lines) != 4 || lines[0] != head {
+		return nil, fmt.Errorf("want four lines, the first %q", head)
+	}
+	values := make([]string, 3)
+	for i, name := range []string{"id", "signs-from", "secret"} {
+		value, ok := strings.CutPrefix(lines[i+1], name+" ")
+		if !ok {
+			return nil, fmt.Errorf("line %d: want %s", i+2, name)
+		}
+		values[i] = value
+	}
+	id, err := strconv.ParseUint(values[0], 16, 32)
+	if err != nil {
+		return nil, fmt.Errorf("id: %w", err)
+	}
+	from, err := time.Parse(time.RFC3339, values[1])
+	if err != nil {
+		return nil, fmt.Errorf("signs-from: %w", err)
+	}
+	secret, err := hex.DecodeString(values[2])
+	if err != nil {
+		return nil, errors.New("secret: not hexadecimal") // the text itself stays out of the log
+	}
+	return resume.NewKey(resume.KeyID(id), from, secret)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,340 @@
+// Package ledger keeps which resume tokens are spent, answers other nodes that
+// ask, and asks their ledgers. What is granted is decided by package resume; here
+// it is made durable before anyone hears of it.
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/internal/resume"
+	"coralrelay/internal/sabotage"
+	"coralrelay/internal/store"
+	"coralrelay/internal/tally"
+)
+
+// FileName is the ledger's file in its folder.
+const FileName = "ledger.db"
+
+// group is how many presentations are made durable at once, at most.
+const group = 512
+
+var (
+	spentBucket = []byte("spent")
+	sweptKey    = []byte("swept")
+	rulesBucket = []byte("rules")
+)
+
+// Schema is the ledger's layout: bucket spent has a bucket for each window, keyed
+// by its number, with claimants by nonce; rules has the last window swept.
+var Schema = store.Schema{Kind: "ledger", Migrations: []func(*store.Tx) error{func(tx *store.Tx) error {
+	_, err := tx.CreateBucket(spentBucket)
+	_, err2 := tx.CreateBucket(rulesBucket)
+	return errors.Join(err, err2)
+}}}
+
+// Options bound a ledger.
+type Options struct {
+	Dir     string        // where its file is; empty for one in memory, which a restart empties
+	Records int           // tokens remembered at most
+	Skew    time.Duration // by which an issuer's clock may be ahead
+	Group   int           // presentations made durable at once at most; 0 for the default
+	NoSync  bool          // spare the disk's sync: safe over a crash of the node, not of the machine
+}
+
+// keeper holds the records.
+type keeper interface {
+	// spend judges a presentation, keeps it if it is granted afresh, and tells.
+	spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict))
+	sweep()
+	run(ctx context.Context)
+	close() error
+}
+
+// Ledger is one node's ledger.
+type Ledger struct {
+	ID     resume.LedgerID
+	Stays  bool // its records survive a restart
+	keeper keeper
+	kept   atomic.Int64
+	limit  int64
+	broken atomic.Bool // the last write failed
+}
+
+// Open opens the ledger that o names. Run has to be called for it to answer.
+func Open(o Options) (*Ledger, error) {
+	if o.Group == 0 {
+		o.Group = group
+	}
+	l := &Ledger{limit: int64(o.Records)}
+	a := resume.Arbiter{Limit: o.Records, Skew: o.Skew}
+	if o.Dir == "" {
+		_, _ = rand.Read(a.ID[:])
+		l.ID = a.ID
+		l.keeper = &memory{ledger: l, arbiter: a, spent: map[resume.Window]map[resume.Nonce]resume.Claimant{}}
+		return l, nil
+	}
+	// A record takes about 100 bytes with bbolt's overhead for random keys. The rest
+	// is for pages that wait to be used again, and because bbolt counts the mapped
+	// size, which doubles.
+	s, err := store.Open(filepath.Join(o.Dir, FileName), Schema,
+		store.Options{MaxBytes: 64<<20 + 400*o.Records, NoSync: o.NoSync})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	if s.Aside != "" {
+		slog.Warn("ledger: a file that can't be trusted was set aside; tokens that name it won't be honoured",
+			"aside", s.Aside, "err", s.Why)
+	}
+	a.ID = resume.LedgerID(s.ID)
+	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group)}
+	if err := d.load(); err != nil {
+		return nil, errors.Join(fmt.Errorf("ledger: %w", err), s.Close())
+	}
+	l.ID, l.Stays, l.keeper = a.ID, true, d
+	return l, nil
+}
+
+// Run keeps the ledger until ctx ends, and closes it.
+func (l *Ledger) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { l.keeper.run(ctx) })
+	tick := time.NewTicker(resume.WindowLength / 2)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		l.keeper.sweep()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+		}
+	}
+	wg.Wait()
+	if err := l.keeper.close(); err != nil {
+		slog.Error("ledger", "err", err)
+	}
+}
+
+// Spend tells what becomes of one presentation. tell is called once, from another
+// goroutine, and must not block.
+func (l *Ledger) Spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+	l.keeper.spend(t, c, tell)
+}
+
+// Kept is how many records the ledger holds.
+func (l *Ledger) Kept() int { return int(l.kept.Load()) }
+
+// Ready tells whether the ledger has room and could write when it last did.
+func (l *Ledger) Ready() bool { return l.kept.Load() < l.limit && !l.broken.Load() }
+
+// ---- in a file ----
+
+// durable has its records in a store. The arbiter belongs to the writer's
+// goroutine, in which Apply and Done run.
+type durable struct {
+	ledger  *Ledger
+	store   *store.Store
+	writer  *store.Writer
+	arbiter resume.Arbiter
+	failed  tally.Tally
+	cheat   map[resume.Nonce]resume.Claimant // sabotage: records that are not written
+}
+
+func (d *durable) load() error {
+	return d.store.View(func(tx *store.Tx) error {
+		if b := tx.Bucket(rulesBucket).Get(sweptKey); len(b) == 8 {
+			d.arbiter.Swept = resume.Window(binary.BigEndian.Uint64(b))
+		}
+		spent := tx.Bucket(spentBucket)
+		err := spent.ForEachBucket(func(w []byte) error {
+			d.arbiter.Kept += spent.Bucket(w).Stats().KeyN
+			return nil
+		})
+		d.ledger.kept.Store(int64(d.arbiter.Kept))
+		return err
+	})
+}
+
+func (d *durable) run(ctx context.Context) { d.writer.Run(ctx) }
+func (d *durable) close() error            { return d.store.Close() }
+
+func (d *durable) spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+	d.writer.Submit(&presentation{d: d, token: t, claimant: c, tell: tell})
+}
+
+func (d *durable) sweep() {
+	d.writer.Submit(&sweep{d: d})
+}
+
+// presentation is one token to be judged and, if it is granted, kept.
+type presentation struct {
+	d        *durable
+	token    *resume.Token
+	claimant resume.Claimant
+	tell     func(resume.Verdict)
+	verdict  resume.Verdict
+	fresh    bool
+}
+
+func (p *presentation) Apply(tx *store.Tx) error {
+	spent := tx.Bucket(spentBucket)
+	p.verdict, p.fresh = p.d.arbiter.Judge(time.Now(), p.token, p.claimant,
+		func(w resume.Window, n resume.Nonce) (c resume.Claimant, ok bool) {
+			if had, ok := p.d.cheat[n]; ok {
+				return had, true
+			}
+			if b := spent.Bucket(key(w)); b != nil {
+				if had := b.Get(n[:]); len(had) == len(c) {
+					return resume.Claimant(had), true
+				}
+			}
+			return c, false
+		})
+	if !p.fresh {
+		return nil
+	}
+	p.d.arbiter.Kept++
+	if sabotage.On("ledger-volatile") {
+		if p.d.cheat == nil {
+			p.d.cheat = map[resume.Nonce]resume.Claimant{}
+		}
+		p.d.cheat[p.token.Nonce] = p.claimant
+		return nil
+	}
+	b, err := spent.CreateBucketIfNotExists(key(resume.WindowOf(p.token.Expires)))
+	if err != nil {
+		return err
+	}
+	return b.Put(p.token.Nonce[:], p.claimant[:])
+}
+
+func (p *presentation) Done(err error) {
+	if errors.Is(err, store.ErrBusy) { // told in Submit's goroutine: the arbiter is not ours to touch
+		p.tell(resume.Full)
+		return
+	}
+	if err != nil {
+		p.d.broke(err)
+		if p.fresh {
+			p.d.arbiter.Kept--
+		}
+		p.verdict = resume.Broken
+	} else if p.fresh {
+		p.d.ledger.broken.Store(false)
+	}
+	p.d.ledger.kept.Store(int64(p.d.arbiter.Kept))
+	p.tell(p.verdict)
+}
+
+func (d *durable) broke(err error) {
+	d.ledger.broken.Store(true)
+	d.failed.Warn("ledger can't write; tokens are not honoured", "err", err)
+}
+
+// sweep forgets whole windows.
+type sweep struct {
+	d     *durable
+	count int
+}
+
+func (s *sweep) Apply(tx *store.Tx) error {
+	s.count = 0
+	w, ok := s.d.arbiter.Sweepable(time.Now())
+	if !ok {
+		return nil
+	}
+	spent := tx.Bucket(spentBucket)
+	var old [][]byte
+	_ = spent.ForEachBucket(func(k []byte) error {
+		if resume.Window(binary.BigEndian.Uint64(k)) <= w {
+			old = append(old, append([]byte(nil), k...))
+		}
+		return nil
+	})
+	for _, k := range old {
+		n := spent.Bucket(k).Stats().KeyN
+		if err := spent.DeleteBucket(k); err != nil {
+			return err
+		}
+		s.count += n
+	}
+	// The mark goes with the records: a clock that is set back later finds it.
+	if err := tx.Bucket(rulesBucket).Put(sweptKey, key(w)); err != nil {
+		return err
+	}
+	s.d.arbiter.Swept = w
+	return nil
+}
+
+func (s *sweep) Done(err error) {
+	if errors.Is(err, store.ErrBusy) {
+		return // the next tick sweeps
+	}
+	if err != nil {
+		s.d.broke(err)
+		return
+	}
+	s.d.arbiter.Kept -= s.count
+	s.d.ledger.kept.Store(int64(s.d.arbiter.Kept))
+	if s.d.arbiter.Kept < s.d.arbiter.Limit {
+		s.d.ledger.broken.Store(false)
+	}
+}
+
+func key(w resume.Window) []byte { return binary.BigEndian.AppendUint64(nil, uint64(w)) }
+
+// ---- in memory ----
+
+type memory struct {
+	ledger *Ledger
+
+	mu      sync.Mutex
+	arbiter resume.Arbiter
+	spent   map[resume.Window]map[resume.Nonce]resume.Claimant
+}
+
+func (m *memory) spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+	m.mu.Lock()
+	v, fresh := m.arbiter.Judge(time.Now(), t, c, func(w resume.Window, n resume.Nonce) (resume.Claimant, bool) {
+		had, ok := m.spent[w][n]
+		return had, ok
+	})
+	if fresh {
+		w := resume.WindowOf(t.Expires)
+		if m.spent[w] == nil {
+			m.spent[w] = map[resume.Nonce]resume.Claimant{}
+		}
+		m.spent[w][t.Nonce] = c
+		m.arbiter.Kept++
+		m.ledger.kept.Store(int64(m.arbiter.Kept))
+	}
+	m.mu.Unlock()
+	tell(v)
+}
+
+func (m *memory) sweep() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w, ok := m.arbiter.Sweepable(time.Now())
+	if !ok {
+		return
+	}
+	for at, records := range m.spent {
+		if at <= w {
+			m.arbiter.Kept -= len(records)
+			delete(m.spent, at)
+		}
+	}
+	m.arbiter.Swept = w
+	m.ledger.kept.Store(int64(m.arbiter.Kept))
+}
+
+func (m *memory) run(ctx context.Context) { <-ctx.Done() }
+func (m *memory) close() error            { return nil }
--- /dev/null
+++ b/internal/ledger/service.go
@@ -0,0 +1,161 @@
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/internal/resume"
+	"coralrelay/internal/sabotage"
+	"coralrelay/internal/tally"
+)
+
+// retry is the pause before a question that found no connection is put again.
+const retry = 10 * time.Millisecond
+
+// Terms are what may change while the node runs.
+type Terms struct {
+	Ring *resume.Ring
+	Life time.Duration // of a token
+	Skew time.Duration // by which nodes' clocks may differ
+	Wait time.Duration // for an arbiter's answer, before the client gets a snapshot
+}
+
+// Service mints and redeems tokens for one node.
+type Service struct {
+	name    string
+	ledger  *Ledger
+	peers   map[string]*Peer
+	terms   atomic.Pointer[Terms]
+	leaving atomic.Bool
+	failed  tally.Tally
+	Counts  Counts
+}
+
+// Counts are what a Service has done so far.
+type Counts struct {
+	Minted, Bare atomic.Int64 // tokens; moves without one
+	Verdicts     [resume.Unreachable + 1]atomic.Int64
+}
+
+// NewService returns the node's service; peers are its addresses by name.
+func NewService(name string, l *Ledger, t Terms, peers map[string]string) *Service {
+	s := &Service{name: name, ledger: l, peers: map[string]*Peer{}}
+	s.terms.Store(&t)
+	for name, addr := range peers {
+		if name != s.name { // one file may serve all nodes
+			s.peers[name] = &Peer{Name: name, Addr: addr, ring: s.Ring}
+		}
+	}
+	return s
+}
+
+// Run keeps the connections to peers until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range s.peers {
+		wg.Go(func() { p.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Ring returns the keys in force.
+func (s *Service) Ring() *resume.Ring { return s.terms.Load().Ring }
+
+// Change puts other terms in force.
+func (s *Service) Change(t Terms) { s.terms.Store(&t) }
+
+// Leave tells that the node is about to end: others have to arbitrate what it
+// mints from now on.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
+// Mint returns a token for a client that is moved, or "" if nobody could arbitrate
+// one.
+func (s *Service) Mint(flowKey, group string, pos resume.Position) string {
+	now, terms := time.Now(), s.terms.Load()
+	var n resume.Nonce
+	_, _ = rand.Read(n[:])
+	peers := make([]resume.Member, 0, len(s.peers))
+	for _, p := range s.peers {
+		peers = append(peers, p.Member(now))
+	}
+	self := resume.Member{Name: s.name, Ledger: s.ledger.ID, Ready: s.ledger.Ready(), Stays: s.ledger.Stays}
+	arbiter, ok := resume.Choose(self, s.leaving.Load(), peers, n)
+	if !ok {
+		s.Counts.Bare.Add(1)
+		return ""
+	}
+	if sabotage.On("position") {
+		pos.Offset++
+	}
+	text, err := resume.Mint(terms.Ring, now, resume.Grant{Issuer: s.name, Arbiter: arbiter.Name, Ledger: arbiter.Ledger,
+		Pos: pos, FlowKey: flowKey, Group: group, Life: terms.Life, Nonce: n})
+	if err != nil {
+		s.failed.Warn("no token for a moved client", "err", err)
+		s.Counts.Bare.Add(1)
+		return ""
+	}
+	s.Counts.Minted.Add(1)
+	return text
+}
+
+// Redeem settles one presentation, within the terms' wait and before ctx ends.
+func (s *Service) Redeem(ctx context.Context, p resume.Presentation) resume.Outcome {
+	terms := s.terms.Load()
+	if sabotage.On("binding") {
+		if t, err := resume.Open(terms.Ring, p.Text); err == nil {
+			return s.ask(ctx, terms, p.Text, &resume.Redemption{Token: t})
+		}
+	}
+	r, o, settled := resume.Begin(terms.Ring, time.Now(), p, terms.Skew)
+	if !settled {
+		o = s.ask(ctx, terms, p.Text, r)
+	}
+	s.Counts.Verdicts[o.Why].Add(1)
+	return o
+}
+
+func (s *Service) ask(ctx context.Context, terms *Terms, text string, r *resume.Redemption) resume.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, terms.Wait)
+	defer cancel()
+	var c resume.Claimant
+	_, _ = rand.Read(c[:])
+	v := s.verdict(ctx, text, &r.Token, c)
+	if sabotage.On("ledger") {
+		v = resume.Granted
+	}
+	o, _ := r.Answered(v)
+	return o
+}
+
+// verdict asks the token's arbiter, again under the same claim where the
+// connection broke, until ctx ends.
+func (s *Service) verdict(ctx context.Context, text string, t *resume.Token, c resume.Claimant) resume.Verdict {
+	if t.Arbiter == s.name {
+		tell := make(chan resume.Verdict, 1)
+		s.ledger.Spend(t, c, func(v resume.Verdict) { tell <- v })
+		select {
+		case v := <-tell:
+			return v
+		case <-ctx.Done():
+			return resume.Unreachable
+		}
+	}
+	p := s.peers[t.Arbiter]
+	if p == nil {
+		return resume.Unreachable
+	}
+	for {
+		v, err := p.Spend(ctx, text, c)
+		if err == nil {
+			return v
+		}
+		select {
+		case <-ctx.Done():
+			return resume.Unreachable
+		case <-time.After(retry):
+		}
+	}
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -33,6 +33,8 @@
 	Wait                      time.Duration // d: how long the caller waits for UP
 	Hint                      float64
 	Retry, Again              bool
+	Resume                    string // rs: a resume token, or 1 to be given one; empty if not asked for
+	After                     string // rp: the position that the caller has, if it says so
 	head, tail                string // the line as it came, before and after d's value
 }
 
@@ -80,6 +82,10 @@
 		o.Class = value
 	case "g":
 		o.Group = value
+	case "rs":
+		o.Resume = value
+	case "rp":
+		o.After = value
 	case "at":
 		o.At = value
 	case "r":
@@ -123,6 +129,25 @@
 	return o.head + strconv.FormatInt(left, 10) + o.tail
 }
 
+// Conceal takes a resume token out of the line that goes to next hops: whoever has
+// a token can present it. What stays asks for a stream with positions.
+func (o *Open) Conceal() {
+	pair, plain := "rs="+o.Resume, "rs="+Asked
+	for _, part := range []*string{&o.head, &o.tail} {
+		// The list is the last word, and its names come once: the pair stands there
+		// behind the list's begin or a comma.
+		at := strings.LastIndexByte(*part, ' ') + 1
+		if part == &o.tail {
+			at = 0
+		}
+		list := strings.Split((*part)[at:], ",")
+		if i := slices.Index(list, pair); i >= 0 {
+			list[i] = plain
+			*part = (*part)[:at] + strings.Join(list, ",")
+		}
+	}
+}
+
 // Reply is a next hop's first answer.
 type Reply int
 
--- /dev/null
+++ b/internal/line/stream.go
@@ -0,0 +1,107 @@
+package line
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+
+	"coralrelay/internal/resume"
+)
+
+// The words of resumable streams, beyond the platform's protocol. A caller that
+// sends rs=1 or rs=TOKEN asks for one; a next hop that has them says so behind its
+// receipt, and waits for START:
+//
+//	UP RECEIPT rs=1             from the next hop
+//	START                       to it: from the beginning
+//	START after=POS             the same, no older than POS
+//	START resume=POS id=NONCE   go on behind POS; NONCE is the spent token's
+//	RESUMED POS                 from it: what follows continues POS
+//	SNAPSHOT POS COUNT          the state at POS follows, in COUNT lines
+//	UPD OFFSET ...              a change, numbered in the epoch of POS
+//	POS POS                     nothing has changed up to POS
+//	MOVE TOKEN                  to the caller
+const (
+	// Asked is the value of rs that asks for a resumable stream.
+	Asked    = "1"
+	start    = "START"
+	resumed  = "RESUMED "
+	snapshot = "SNAPSHOT "
+	update   = "UPD "
+	position = "POS "
+)
+
+// Resumable tells whether a next hop's UP line says that it has such streams.
+func Resumable(up string) bool { return strings.HasSuffix(up, " rs="+Asked) }
+
+// Start words the line that starts a stream.
+func Start(o resume.Outcome) string {
+	switch {
+	case o.Resume:
+		return start + " resume=" + o.Pos.String() + " id=" + hexadecimal(o.Nonce[:])
+	case o.Floor:
+		return start + " after=" + o.Pos.String()
+	}
+	return start
+}
+
+func hexadecimal(b []byte) string {
+	const digits = "0123456789abcdef"
+	s := make([]byte, 0, 2*len(b))
+	for _, c := range b {
+		s = append(s, digits[c>>4], digits[c&15])
+	}
+	return string(s)
+}
+
+// Reading follows the position in a stream as its lines pass. Its zero value has
+// none yet.
+type Reading struct {
+	pos   resume.Position
+	known bool
+	left  int // lines of a snapshot that are still to come
+	next  resume.Position
+}
+
+// Position is how far the lines seen so far go. There is none before the stream
+// says so, nor within a snapshot: half of one is nothing to go on from.
+func (r *Reading) Position() (resume.Position, bool) { return r.pos, r.known }
+
+// Pass takes one line of the next hop's.
+func (r *Reading) Pass(text []byte) {
+	if r.left > 0 {
+		if r.left--; r.left == 0 {
+			r.pos, r.known = r.next, true
+		}
+		return
+	}
+	text = bytes.TrimRight(text, "\r\n")
+	if rest, ok := bytes.CutPrefix(text, []byte(update)); ok {
+		digits, _, _ := bytes.Cut(rest, []byte(" "))
+		if n, err := strconv.ParseUint(string(digits), 10, 64); err == nil && r.known {
+			r.pos.Offset = n
+			return
+		}
+		r.known = false // a numbering that can't be followed is none
+		return
+	}
+	if rest, ok := bytes.CutPrefix(text, []byte(snapshot)); ok {
+		at, count, _ := bytes.Cut(rest, []byte(" "))
+		n, err := strconv.Atoi(string(count))
+		r.known = false
+		if pos, err2 := resume.ParsePosition(string(at)); err == nil && err2 == nil && n >= 0 {
+			r.next, r.left = pos, n
+			if n == 0 {
+				r.pos, r.known = pos, true
+			}
+		}
+		return
+	}
+	for _, word := range []string{resumed, position} {
+		if rest, ok := bytes.CutPrefix(text, []byte(word)); ok {
+			pos, err := resume.ParsePosition(string(rest))
+			r.pos, r.known = pos, err == nil
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,206 @@
+// Package operator is the operator's own file: what this installation switches on
+// beyond the platform. Its records are typed; the schema in CUE is beside it, in
+// package schema, and the node reads the JSON that 'coralctl export' makes of it.
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration as text, such as 150ms.
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads it.
+func (d *Duration) UnmarshalText(b []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(b))
+	return err
+}
+
+// MarshalText writes it.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// File is the whole file. Its zero keys have the defaults of Default.
+type File struct {
+	Log    Log    `json:"log"`
+	Resume Resume `json:"resume"`
+}
+
+// Log is how the program logs.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error; can change while running
+	Format string `json:"format"` // text or json
+}
+
+// Resume is moving with a resume token.
+type Resume struct {
+	Enabled bool     `json:"enabled"`
+	Keys    string   `json:"keys"` // folder of key files, read again on SIGHUP
+	Life    Duration `json:"life"` // of a token
+	Skew    Duration `json:"skew"` // by which nodes' clocks may differ
+	Wait    Duration `json:"wait"` // for an arbiter's answer
+	Ledger  Ledger   `json:"ledger"`
+}
+
+// Ledger is this node's record of spent tokens.
+type Ledger struct {
+	Dir     string            `json:"dir"`     // folder; empty keeps it in memory
+	Records int               `json:"records"` // spent tokens remembered at most
+	Listen  string            `json:"listen"`  // where other nodes ask; empty for none
+	Peers   map[string]string `json:"peers"`   // other nodes' ledgers: name to address
+}
+
+// Default is what a node without a file runs with: everything off.
+func Default() File {
+	return File{Log: Log{Level: "info", Format: "text"}, Resume: Resume{Life: Duration{time.Minute},
+		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}}}
+}
+
+// Fault is what is wrong with one key.
+type Fault struct{ Key, Found, Allowed string }
+
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s: found %s, allowed is %s", f.Key, f.Found, f.Allowed)
+}
+
+// Check returns every fault; the schema in CUE says the same.
+func (f *File) Check() error {
+	var faults []error
+	fault := func(bad bool, key string, found any, allowed string) {
+		if bad {
+			faults = append(faults, Fault{key, fmt.Sprintf("%q", fmt.Sprint(found)), allowed})
+		}
+	}
+	within := func(key string, d Duration, least, most time.Duration) {
+		fault(d.Duration < least || d.Duration > most, key, d, fmt.Sprintf("%v to %v", least, most))
+	}
+	oneOf := func(key, found string, allowed ...string) {
+		fault(!slices.Contains(allowed, found), key, found, strings.Join(allowed, ", "))
+	}
+	oneOf("log.level", f.Log.Level, "debug", "info", "warn", "error")
+	oneOf("log.format", f.Log.Format, "text", "json")
+	r := &f.Resume
+	fault(r.Enabled && r.Keys == "", "resume.keys", r.Keys, "a folder of key files, as resume.enabled is true")
+	within("resume.life", r.Life, time.Second, 24*time.Hour)
+	within("resume.skew", r.Skew, 0, time.Minute)
+	within("resume.wait", r.Wait, time.Millisecond, 5*time.Second)
+	fault(r.Ledger.Records < 1 || r.Ledger.Records > 100_000_000, "resume.ledger.records", r.Ledger.Records, "1 to 100000000")
+	fault(r.Ledger.Listen != "" && !isAddress(r.Ledger.Listen), "resume.ledger.listen", r.Ledger.Listen, "HOST:PORT")
+	for name, addr := range r.Ledger.Peers {
+		fault(!isAddress(addr), "resume.ledger.peers."+name, addr, "HOST:PORT")
+		fault(name == "" || len(name) > 40 || strings.ContainsAny(name, " \t\r\n"), "resume.ledger.peers."+name, name,
+			"a node's name of 1 to 40 bytes without blanks")
+	}
+	return errors.Join(faults...)
+}
+
+func isAddress(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	return err == nil && port != ""
+}
+
+// largest bounds the file, in bytes.
+const largest = 1 << 20
+
+// Load reads and checks the file at path. JSON is read here; for a CUE file
+// coralctl beside this program is started, which ends before Load returns.
+func Load(path string) (File, error) {
+	raw, err := readAll(path)
+	if err != nil {
+		return File{}, fmt.Errorf("--config: %w", err)
+	}
+	if filepath.Ext(path) == ".cue" {
+		if raw, err = export(path); err != nil {
+			return File{}, fmt.Errorf("--config: %w", err)
+		}
+	}
+	f, err := Parse(raw)
+	if err != nil {
+		return File{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func readAll(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(f, largest+1))
+	if err == nil && len(raw) > largest {
+		err = fmt.Errorf("%s: over %d bytes", path, largest)
+	}
+	return raw, err
+}
+
+// Parse reads and checks JSON; what it does not name has its default.
+func Parse(raw []byte) (File, error) {
+	f := Default()
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return File{}, Fault{wrong.Field, wrong.Value, wrong.Type.String()}
+		}
+		return File{}, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return File{}, errors.New("more than one record")
+	}
+	return f, f.Check()
+}
+
+// exporting bounds the helper that reads CUE.
+const exporting = 20 * time.Second
+
+// export has coralctl turn a CUE file into JSON. CUE is heavy; the helper is gone
+// before the node serves.
+func export(path string) ([]byte, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	helper := filepath.Join(filepath.Dir(self), "coralctl")
+	if _, err := os.Stat(helper); err != nil {
+		return nil, fmt.Errorf("%s needs coralctl beside the node, or give the JSON that 'coralctl export' prints: %w", path, err)
+	}
+	var out, complaint bytes.Buffer
+	c := exec.Command(helper, "export", path)
+	c.Stdout, c.Stderr, c.WaitDelay = &out, &complaint, time.Second
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(exporting, func() { _ = c.Process.Kill() })
+	defer timer.Stop()
+	if err := c.Wait(); err != nil {
+		return nil, fmt.Errorf("%s", strings.TrimSpace(complaint.String()+" "+err.Error()))
+	}
+	return out.Bytes(), nil
+}
+
+// Fixed names the keys that differ between f and next and need a restart.
+func (f *File) Fixed(next *File) (keys []string) {
+	for key, same := range map[string]bool{
+		"log.format": f.Log.Format == next.Log.Format, "resume.enabled": f.Resume.Enabled == next.Resume.Enabled,
+		"resume.ledger": reflect.DeepEqual(f.Resume.Ledger, next.Resume.Ledger),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/operator/schema/schema.go
@@ -0,0 +1,208 @@
+// Package schema holds the operator's file as typed CUE records, and explains
+// them. Only programs for people link it: CUE takes megabytes.
+package schema
+
+import (
+	_ "embed" // the schema is a file of its own
+	"fmt"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/ast"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/format"
+
+	"coralrelay/internal/operator"
+)
+
+//go:embed operator.cue
+var text string
+
+func schema(ctx *cue.Context) (cue.Value, error) {
+	// A definition is closed all the way down: that refuses a misspelt key.
+	v := ctx.CompileString("#File: {\n"+text+"\n}", cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#File"))
+	return v, v.Err()
+}
+
+// Export returns the file at name, whose text is src, as complete JSON. Errors
+// name file, line, key, what was found and what is allowed.
+func Export(name string, src []byte) ([]byte, error) {
+	ctx := cuecontext.New()
+	want, err := schema(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	got := ctx.CompileBytes(src, cue.Filename(name))
+	if got.Err() != nil {
+		return nil, explain(name, want, got, got.Err())
+	}
+	if lines := unknown(name, want, got, ""); len(lines) > 0 {
+		return nil, fmt.Errorf("%s", strings.Join(lines, "\n"))
+	}
+	whole := want.Unify(got)
+	if err := whole.Validate(cue.Concrete(true), cue.Final()); err != nil {
+		return nil, explain(name, want, got, err)
+	}
+	raw, err := whole.MarshalJSON()
+	if err != nil {
+		return nil, explain(name, want, got, err)
+	}
+	// The node's own check has the last word: both have to agree.
+	if _, err := operator.Parse(raw); err != nil {
+		return nil, explainFaults(name, got, err)
+	}
+	return raw, nil
+}
+
+// unknown finds keys that the schema does not have; CUE alone stops at other
+// errors before it tells of them.
+func unknown(name string, want, got cue.Value, path string) (lines []string) {
+	fields, err := got.Fields()
+	if err != nil {
+		return nil
+	}
+	for fields.Next() {
+		key := strings.TrimPrefix(path+"."+fields.Selector().Unquoted(), ".")
+		if !want.Allows(fields.Selector()) {
+			lines = append(lines, fmt.Sprintf("%s: %s: no such key; allowed here: %s",
+				place(name, got, fields.Selector().String(), nil), key, names(want)))
+			continue
+		}
+		if next := want.LookupPath(cue.MakePath(fields.Selector())); next.Exists() {
+			lines = append(lines, unknown(name, next, fields.Value(), key)...)
+		}
+	}
+	return lines
+}
+
+// explain words CUE's errors for an operator: the place in the file, the key, what
+// was found there and what the schema allows.
+func explain(name string, want, got cue.Value, err error) error {
+	var lines []string
+	seen := map[string]bool{}
+	for _, e := range errors.Errors(err) {
+		key := strings.Join(e.Path(), ".")
+		if seen[key] && key != "" {
+			continue
+		}
+		seen[key] = true
+		line := place(name, got, key, e) + ": "
+		at := want.LookupPath(cue.ParsePath(key))
+		found := got.LookupPath(cue.ParsePath(key))
+		switch {
+		case key == "":
+			line += e.Error()
+		case !at.Exists():
+			line += key + ": " + e.Error()
+		default:
+			line += fmt.Sprintf("%s: found %s, allowed is %s", key, value(found), allowed(at))
+		}
+		lines = append(lines, line)
+	}
+	return fmt.Errorf("%s", strings.Join(lines, "\n"))
+}
+
+func explainFaults(name string, got cue.Value, err error) error {
+	var lines []string
+	for _, l := range strings.Split(err.Error(), "\n") {
+		key, _, _ := strings.Cut(l, ":")
+		lines = append(lines, place(name, got, key, nil)+": "+l)
+	}
+	return fmt.Errorf("%s", strings.Join(lines, "\n"))
+}
+
+// place is where the file has the key, or the error points to.
+func place(name string, got cue.Value, key string, e errors.Error) string {
+	if v := got.LookupPath(cue.ParsePath(key)); key != "" && v.Exists() && v.Pos().IsValid() {
+		return fmt.Sprintf("%s:%d", name, v.Pos().Line())
+	}
+	if e != nil {
+		for _, p := range errors.Positions(e) {
+			if p.Filename() == name {
+				return fmt.Sprintf("%s:%d", name, p.Line())
+			}
+		}
+	}
+	return name
+}
+
+func value(v cue.Value) string {
+	if !v.Exists() {
+		return "nothing"
+	}
+	return source(v)
+}
+
+func source(v cue.Value) string {
+	b, err := format.Node(v.Syntax(cue.Raw()))
+	if err != nil {
+		return fmt.Sprint(v)
+	}
+	return strings.Join(strings.Fields(string(b)), " ")
+}
+
+// allowed is the schema's own words for a key, and the comment above it.
+func allowed(v cue.Value) string {
+	s := source(v)
+	if c := comment(v); c != "" {
+		s += " (" + c + ")"
+	}
+	return s
+}
+
+func comment(v cue.Value) string {
+	var words []string
+	for _, g := range v.Doc() {
+		words = append(words, strings.TrimSpace(g.Text()))
+	}
+	return strings.Join(words, " ")
+}
+
+// names lists the keys of a struct.
+func names(v cue.Value) string {
+	fields, err := v.Fields(cue.Optional(true))
+	if err != nil {
+		return "none"
+	}
+	var list []string
+	for fields.Next() {
+		list = append(list, fields.Selector().Unquoted())
+	}
+	return strings.Join(list, ", ")
+}
+
+// Key is one key of the schema, for people.
+type Key struct{ Name, Type, About string }
+
+// Keys lists the schema's keys, those below prefix if it is not empty.
+func Keys(prefix string) ([]Key, error) {
+	v, err := schema(cuecontext.New())
+	if err != nil {
+		return nil, err
+	}
+	var keys []Key
+	var walk func(v cue.Value, path string)
+	walk = func(v cue.Value, path string) {
+		fields, err := v.Fields()
+		if err != nil {
+			return
+		}
+		for fields.Next() {
+			at := strings.TrimPrefix(path+"."+fields.Selector().Unquoted(), ".")
+			f := fields.Value()
+			if _, isStruct := f.Syntax(cue.Raw()).(*ast.StructLit); isStruct {
+				walk(f, at)
+				continue
+			}
+			if strings.HasPrefix(at, prefix) {
+				keys = append(keys, Key{at, source(f), comment(f)})
+			}
+		}
+	}
+	walk(v, "")
+	if len(keys) == 0 {
+		return nil, fmt.Errorf("no key %q", prefix)
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,307 @@
+// Package store is the one place that opens the embedded store: bbolt files with
+// an identity, a layout version and migrations, one writer that commits in
+// groups, a greatest size, and records that are forgotten window by window.
+//
+// A file that can't be trusted is never dropped silently and never used: it is
+// set aside under another name and reported.
+package store
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+)
+
+// Tx and Bucket are the store's own, as bbolt has them.
+type (
+	Tx     = bolt.Tx
+	Bucket = bolt.Bucket
+)
+
+// Schema is what one kind of store holds.
+type Schema struct {
+	Kind       string            // such as "ledger"; a file of another kind is foreign
+	Migrations []func(*Tx) error // the first makes layout 1 from nothing, each other the next layout
+}
+
+// Options bound a store.
+type Options struct {
+	MaxBytes int           // of the file; 0 for no bound
+	Wait     time.Duration // for another process to let the file go; at least a moment is waited
+	ReadOnly bool          // look, change nothing; migrations are not made
+	NoSync   bool          // commits survive a crash of the process, but not of the machine
+}
+
+// ID is a store's identity, drawn when its file is made.
+type ID [8]byte
+
+// Store is one open file.
+type Store struct {
+	ID    ID
+	Aside string // where an untrusted file was moved; empty if there was none
+	Why   error  // what was wrong with that file
+	db    *bolt.DB
+	owner string // the file that tells who has it
+}
+
+var (
+	// ErrHeld is that another process has the file open.
+	ErrHeld = errors.New("store is held by another process")
+	// ErrNewer is that a later release wrote the file. It is set aside too.
+	ErrNewer = errors.New("store was written by a later release")
+	// ErrForeign is a file that is no store, or one of another kind.
+	ErrForeign = errors.New("file is no store of this kind")
+	// ErrTorn is a store that is damaged.
+	ErrTorn = errors.New("store is damaged")
+)
+
+var (
+	metaBucket = []byte("meta")
+	kindKey    = []byte("kind")
+	layoutKey  = []byte("layout")
+	idKey      = []byte("id")
+)
+
+// checkedBytes is the size up to which every page of a file is checked when it is
+// opened; of a larger one only its head and length are.
+const checkedBytes = 64 << 20
+
+// Open opens the store at path, or makes one. A file that is torn, foreign or
+// newer is set aside and a fresh store made in its place, which has another ID;
+// Aside and Why tell of it. With ReadOnly it is an error instead.
+func Open(path string, schema Schema, o Options) (*Store, error) {
+	if !o.ReadOnly {
+		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+			return nil, fmt.Errorf("store %s: %w", path, err)
+		}
+	}
+	s, err := open(path, schema, o)
+	if err == nil || o.ReadOnly || !setsAside(err) {
+		return s, err
+	}
+	aside, failed := setAside(path, err)
+	if failed != nil {
+		return nil, errors.Join(err, failed)
+	}
+	why := err
+	if s, err = open(path, schema, o); err != nil {
+		return nil, err
+	}
+	s.Aside, s.Why = aside, why
+	return s, nil
+}
+
+func setsAside(err error) bool {
+	return errors.Is(err, ErrTorn) || errors.Is(err, ErrForeign) || errors.Is(err, ErrNewer)
+}
+
+// setAside moves the file to a name of its own that tells why.
+func setAside(path string, why error) (string, error) {
+	word := "torn"
+	switch {
+	case errors.Is(why, ErrNewer):
+		word = "newer"
+	case errors.Is(why, ErrForeign):
+		word = "foreign"
+	}
+	for n := 1; ; n++ {
+		aside := fmt.Sprintf("%s.%s-%d", path, word, n)
+		// Link fails where the name is taken, which a rename would overwrite.
+		err := os.Link(path, aside)
+		if errors.Is(err, os.ErrExist) {
+			continue
+		}
+		if err != nil {
+			return "", fmt.Errorf("store %s: set aside: %w", path, err)
+		}
+		return aside, os.Remove(path)
+	}
+}
+
+func open(path string, schema Schema, o Options) (s *Store, err error) {
+	// A damaged file may send bbolt to pages that are not there, which panics or,
+	// in the mapped file, faults. The lock is taken before anything is looked at,
+	// by opening the file: so this check may see a file that is being written, and
+	// its verdict is only believed by who then has the lock.
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	var db *bolt.DB
+	defer func() {
+		if p := recover(); p != nil {
+			s, err = nil, fmt.Errorf("store %s: %w: %v", path, ErrTorn, p)
+		}
+		if err != nil && db != nil {
+			_ = db.Close()
+		}
+	}()
+	owner := path + ".owner"
+	held, err := lock(path, o)
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w%s", path, err, who(owner))
+	}
+	err = inspect(path)
+	_ = held.Close() // another process may come between: then bbolt's own lock tells
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: max(o.Wait, 20*time.Millisecond), MaxSize: o.MaxBytes,
+		ReadOnly: o.ReadOnly, NoSync: o.NoSync, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
+	switch {
+	case errors.Is(err, bolt.ErrTimeout):
+		return nil, fmt.Errorf("store %s: %w%s", path, ErrHeld, who(owner))
+	case errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission):
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	case err != nil && isDamage(err):
+		return nil, fmt.Errorf("store %s: %w: %w", path, ErrTorn, err)
+	case err != nil:
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	s = &Store{db: db, owner: owner}
+	if err := s.identify(path, schema, o); err != nil {
+		return nil, err
+	}
+	if !o.ReadOnly {
+		me := fmt.Sprintf("pid %d (%s)\n", os.Getpid(), filepath.Base(os.Args[0]))
+		_ = os.WriteFile(owner, []byte(me), 0o600) // only for people
+	}
+	return s, nil
+}
+
+func isDamage(err error) bool {
+	for _, damage := range []error{bolt.ErrInvalid, bolt.ErrVersionMismatch, bolt.ErrChecksum} {
+		if errors.Is(err, damage) {
+			return true
+		}
+	}
+	return strings.Contains(err.Error(), "file size too small") || strings.Contains(err.Error(), "freepages")
+}
+
+// who tells who has the store, as far as is known.
+func who(owner string) string {
+	b, err := os.ReadFile(owner)
+	if err != nil || len(b) == 0 {
+		return ""
+	}
+	return ": " + strings.TrimSpace(string(b[:min(len(b), 200)]))
+}
+
+// identify checks kind and layout, and brings the layout up to date.
+func (s *Store) identify(path string, schema Schema, o Options) error {
+	layout := uint64(0)
+	err := s.db.View(func(tx *Tx) error {
+		meta := tx.Bucket(metaBucket)
+		if meta == nil {
+			if k, _ := tx.Cursor().First(); k != nil {
+				return ErrForeign
+			}
+			return nil
+		}
+		if kind := string(meta.Get(kindKey)); kind != schema.Kind {
+			return fmt.Errorf("%w: it is %.40q, not %q", ErrForeign, kind, schema.Kind)
+		}
+		b, id := meta.Get(layoutKey), meta.Get(idKey)
+		if len(b) != 8 || len(id) != len(s.ID) {
+			return fmt.Errorf("%w: no layout or identity", ErrTorn)
+		}
+		layout = binary.BigEndian.Uint64(b)
+		copy(s.ID[:], id)
+		if layout > uint64(len(schema.Migrations)) {
+			return fmt.Errorf("%w: layout %d, this one knows %d", ErrNewer, layout, len(schema.Migrations))
+		}
+		if tx.Size() > checkedBytes {
+			return nil
+		}
+		var first error
+		for damage := range tx.Check() { // the channel has to be read to its end
+			if first == nil {
+				first = fmt.Errorf("%w: %w", ErrTorn, damage)
+			}
+		}
+		return first
+	})
+	if err != nil {
+		return fmt.Errorf("store %s: %w", path, err)
+	}
+	if layout == uint64(len(schema.Migrations)) {
+		return nil
+	}
+	if o.ReadOnly {
+		return fmt.Errorf("store %s: layout %d, not yet brought to %d", path, layout, len(schema.Migrations))
+	}
+	err = s.db.Update(func(tx *Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		if layout == 0 {
+			_, _ = rand.Read(s.ID[:])
+			if err := errors.Join(meta.Put(idKey, s.ID[:]), meta.Put(kindKey, []byte(schema.Kind))); err != nil {
+				return err
+			}
+		}
+		for ; layout < uint64(len(schema.Migrations)); layout++ {
+			if err := schema.Migrations[layout](tx); err != nil {
+				return fmt.Errorf("to layout %d: %w", layout+1, err)
+			}
+		}
+		return meta.Put(layoutKey, binary.BigEndian.AppendUint64(nil, layout))
+	})
+	if err != nil {
+		return fmt.Errorf("store %s: migration: %w", path, err)
+	}
+	return nil
+}
+
+// Layout is the layout that the file has.
+func (s *Store) Layout() (layout uint64) {
+	_ = s.View(func(tx *Tx) error {
+		if b := tx.Bucket(metaBucket).Get(layoutKey); len(b) == 8 {
+			layout = binary.BigEndian.Uint64(b)
+		}
+		return nil
+	})
+	return layout
+}
+
+// View reads.
+func (s *Store) View(f func(*Tx) error) error { return guard(func() error { return s.db.View(f) }) }
+
+// Update writes one transaction; it is durable when Update returns without error.
+func (s *Store) Update(f func(*Tx) error) error { return guard(func() error { return s.db.Update(f) }) }
+
+// guard turns what a damaged page does to bbolt into an error: one store that goes
+// bad must not end the node.
+func guard(f func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", ErrTorn, p)
+		}
+	}()
+	return f()
+}
+
+// Size is the file's size in bytes, and how much of it is free to be used again.
+func (s *Store) Size() (file, free int64) {
+	_ = s.View(func(tx *Tx) error { file = tx.Size(); return nil })
+	return file, int64(s.db.Stats().FreeAlloc)
+}
+
+// Close lets the file go.
+func (s *Store) Close() error {
+	if !s.db.IsReadOnly() {
+		_ = os.Remove(s.owner)
+	}
+	return s.db.Close()
+}
+
+// String is the identity in hexadecimal digits.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
