Add coralrig with stand-ins, a demo and the scene of a thousand resumed moves

Resume tokens needed a proof from outside the node: the rig starts real nodes and plays roster, feed servers and clients round them, with drains, overload, restarts, kills of servers and nodes, a key rotation, and tokens presented twice, stolen and spoiled. It checks freshness, order, one use, binding, one answer and drains from the stand-ins' side.

--- /dev/null
+++ b/cmd/coralrig/main.go
@@ -0,0 +1,103 @@
+// Command coralrig plays scenes on loopback: real nodes, stand-ins for everyone
+// else, faults by script, and checks of the rules from the stand-ins' side.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"coralrelay/internal/rig"
+)
+
+// The exit codes: a rule broke or a bound was missed; it could not run.
+const (
+	broken   = 1
+	couldNot = 2
+)
+
+type cli struct {
+	Node string `placeholder:"FILE" help:"The node's binary; by default the coralrelay beside this program."`
+
+	Demo   demoCmd   `cmd:"" help:"Start a roster, feed servers, a node and clients, show for 10 s what is placed where, and end."`
+	Resume resumeCmd `cmd:"" help:"Move clients with resume tokens over drains, restarts and kills."`
+}
+
+// common is what all scenes have.
+type common struct {
+	Seed         uint64 `default:"1" help:"The script's seed."`
+	JSON         string `name:"json" placeholder:"FILE" help:"Write the result there."`
+	Sabotage     string `placeholder:"NAME" help:"Switch a guard off; the scene must then find broken rules and exit 1."`
+	ListSabotage bool   `help:"Name the guards that can be switched off, and end."`
+}
+
+// list prints what can be sabotaged.
+func list(names map[string]string) error {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		fmt.Printf("%-18s %s\n", name, names[name])
+	}
+	return nil
+}
+
+type resumeCmd struct {
+	common
+	Moves   int `default:"1000" help:"Clients moved in all."`
+	Nodes   int `default:"3" help:"Nodes."`
+	Servers int `default:"6" help:"Feed servers."`
+	Clients int `default:"200" help:"Clients."`
+}
+
+func (c *resumeCmd) Run(ctx context.Context, top *cli) error {
+	if c.ListSabotage {
+		return list(rig.ResumeSabotages)
+	}
+	r, err := rig.Resume(ctx, rig.ResumeOptions{Seed: c.Seed, Moves: c.Moves, Nodes: c.Nodes, Servers: c.Servers,
+		Clients: c.Clients, Binary: top.Node, Sabotage: c.Sabotage, Progress: os.Stderr})
+	if err != nil {
+		return err
+	}
+	return r.Finish(os.Stdout, c.JSON)
+}
+
+type demoCmd struct {
+	Seconds int `default:"10" help:"How long."`
+}
+
+func (c *demoCmd) Run(ctx context.Context, top *cli) error {
+	return rig.Demo(ctx, rig.DemoOptions{Binary: top.Node, Seconds: c.Seconds, Out: os.Stdout})
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c cli
+	k := kong.Parse(&c, kong.Name("coralrig"), kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Description("Play scenes against real nodes, with stand-ins on loopback for everyone else."),
+		kong.Exit(func(code int) {
+			if code != 0 {
+				code = couldNot
+			}
+			os.Exit(code)
+		}))
+	if c.Node == "" {
+		if self, err := os.Executable(); err == nil {
+			c.Node = filepath.Join(filepath.Dir(self), "coralrelay")
+		}
+	}
+	switch err := k.Run(&c); {
+	case errors.Is(err, rig.ErrBroken):
+		stop()
+		os.Exit(broken)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "coralrig:", err)
+		os.Exit(couldNot)
+	}
+}
--- a/internal/line/stream.go
+++ b/internal/line/stream.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"strconv"
 	"strings"
+	"time"
 
 	"coralrelay/internal/resume"
 )
@@ -14,10 +16,12 @@
 //
 //	UP RECEIPT rs=1             from the next hop
 //	START                       to it: from the beginning
-//	START after=POS             the same, no older than POS
-//	START resume=POS id=NONCE   go on behind POS; NONCE is the spent token's
+//	START after=POS at=MS       the same, no older than POS; a next hop that numbers
+//	                            otherwise goes by MS, Unix time in milliseconds
+//	START resume=POS at=MS id=NONCE
+//	                            go on behind POS; NONCE is the spent token's
 //	RESUMED POS                 from it: what follows continues POS
-//	SNAPSHOT POS COUNT          the state at POS follows, in COUNT lines
+//	SNAPSHOT POS COUNT          the state at POS follows, in the next COUNT lines
 //	UPD OFFSET ...              a change, numbered in the epoch of POS
 //	POS POS                     nothing has changed up to POS
 //	MOVE TOKEN                  to the caller
@@ -34,26 +38,19 @@
 // Resumable tells whether a next hop's UP line says that it has such streams.
 func Resumable(up string) bool { return strings.HasSuffix(up, " rs="+Asked) }
 
-// Start words the line that starts a stream.
-func Start(o resume.Outcome) string {
+// Start words the line that starts a stream. came is when its caller did: it can't
+// have seen anything later.
+func Start(o resume.Outcome, came time.Time) string {
+	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
 	switch {
 	case o.Resume:
-		return start + " resume=" + o.Pos.String() + " id=" + hexadecimal(o.Nonce[:])
+		return start + " resume=" + o.Pos.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
 	case o.Floor:
-		return start + " after=" + o.Pos.String()
+		return start + " after=" + o.Pos.String() + at
 	}
 	return start
 }
 
-func hexadecimal(b []byte) string {
-	const digits = "0123456789abcdef"
-	s := make([]byte, 0, 2*len(b))
-	for _, c := range b {
-		s = append(s, digits[c>>4], digits[c&15])
-	}
-	return string(s)
-}
-
 // Reading follows the position in a stream as its lines pass. Its zero value has
 // none yet.
 type Reading struct {
--- /dev/null
+++ b/internal/rig/result.go
@@ -0,0 +1,131 @@
+// Package rig plays scenes: real nodes and stand-ins on loopback, a seeded script
+// with faults, and checks of the rules from the stand-ins' side.
+package rig
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+)
+
+// ErrBroken is that a rule broke or a bound was missed.
+var ErrBroken = errors.New("rules broken")
+
+// Violation is one broken rule.
+type Violation struct {
+	Rule   string `json:"rule"`
+	AtMs   int64  `json:"at_ms"` // since the scene's start
+	Detail string `json:"detail"`
+}
+
+// Result is what a scene found.
+type Result struct {
+	Scene      string             `json:"scene"`
+	Seed       uint64             `json:"seed"`
+	OK         bool               `json:"ok"`
+	Violations []Violation        `json:"violations"`
+	Figures    map[string]float64 `json:"figures"`
+	Scaled     string             `json:"scaled"`
+
+	mu    sync.Mutex
+	begun time.Time
+	count map[string]int
+}
+
+// most violations are kept of one rule; the others are counted.
+const most = 20
+
+// NewResult starts a scene.
+func NewResult(scene string, seed uint64) *Result {
+	return &Result{Scene: scene, Seed: seed, Violations: []Violation{}, Figures: map[string]float64{},
+		begun: time.Now(), count: map[string]int{}}
+}
+
+// Broken notes that a rule broke.
+func (r *Result) Broken(rule, detail string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.count[rule]++; r.count[rule] <= most {
+		r.Violations = append(r.Violations, Violation{rule, time.Since(r.begun).Milliseconds(), detail})
+	}
+}
+
+// Add adds to a figure.
+func (r *Result) Add(figure string, x float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Figures[figure] += x
+}
+
+// Set sets a figure.
+func (r *Result) Set(figure string, x float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Figures[figure] = x
+}
+
+// Get returns a figure.
+func (r *Result) Get(figure string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Figures[figure]
+}
+
+// Least holds a figure to a bound: a scene that provoked nothing proves nothing.
+func (r *Result) Least(figure string, bound float64) {
+	if x := r.Get(figure); x < bound {
+		r.Broken("bound", fmt.Sprintf("%s is %g, at least %g is wanted", figure, x, bound))
+	}
+}
+
+// Finish prints the table, writes the JSON file if one is named, and returns
+// ErrBroken if a rule broke.
+func (r *Result) Finish(w io.Writer, file string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.OK = len(r.Violations) == 0
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "\n%s, seed %d\n", r.Scene, r.Seed)
+	for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
+		fmt.Fprintf(t, "  %s\t%.6g\n", name, r.Figures[name])
+	}
+	for _, rule := range slices.Sorted(maps.Keys(r.count)) {
+		fmt.Fprintf(t, "  BROKEN %s\t%d times\n", rule, r.count[rule])
+	}
+	slices.SortStableFunc(r.Violations, func(a, b Violation) int { return cmp.Compare(a.AtMs, b.AtMs) })
+	for _, v := range r.Violations[:min(len(r.Violations), most)] {
+		fmt.Fprintf(t, "    %d ms  %s: %s\n", v.AtMs, v.Rule, v.Detail)
+	}
+	if r.Scaled != "" {
+		fmt.Fprintf(t, "  scaled: %s\n", r.Scaled)
+	}
+	verdict := "ok: all rules kept"
+	if !r.OK {
+		verdict = "BROKEN"
+	}
+	fmt.Fprintln(t, verdict)
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if file != "" {
+		raw, err := json.MarshalIndent(r, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	if !r.OK {
+		return ErrBroken
+	}
+	return nil
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/ledger"
@@ -26,7 +27,7 @@
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
 func (s Sessions) Continuity(o *line.Open) exchange.Continuity {
-	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group}
+	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
 	if o.Resume != line.Asked {
 		c.token = o.Resume
 	}
@@ -44,6 +45,7 @@
 	token       string         // that it presented; empty if none
 	floor       resume.Outcome // what it says it has: it can only ask for no older
 	reading     line.Reading
+	came        time.Time
 	ticket      string
 	wasTicketed bool
 }
@@ -64,7 +66,7 @@
 			o = got
 		}
 	}
-	return line.Start(o)
+	return line.Start(o, c.came)
 }
 
 func (c *session) Passed(text []byte) { c.reading.Pass(text) }
