--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,423 @@
+package ledger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coralrelay/internal/resume"
+	"coralrelay/internal/store"
+)
+
+func ring(t testing.TB, secrets ...string) *resume.Ring {
+	var keys []*resume.Key
+	for i, s := range secrets {
+		k, err := resume.NewKey(resume.KeyID(i+1), time.Unix(int64(i), 0), []byte(strings.Repeat(s, resume.SecretSize)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys = append(keys, k)
+	}
+	r, err := resume.NewRing(keys...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func start(t testing.TB, o Options) (*Ledger, context.CancelFunc) {
+	if o.Records == 0 {
+		o.Records = 1000
+	}
+	l, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	stop := func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return l, stop
+}
+
+var number atomic.Uint64
+
+// token returns a token that a ledger arbitrates.
+func token(t testing.TB, r *resume.Ring, l *Ledger, issued time.Time, life time.Duration) (string, *resume.Token) {
+	n := number.Add(1)
+	text, err := resume.Mint(r, issued, resume.Grant{Issuer: "n0", Arbiter: "n0", Ledger: l.ID, FlowKey: "k", Group: "g",
+		Pos: resume.Position{Epoch: 1, Offset: n}, Life: life, Nonce: resume.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tok, err := resume.Open(r, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text, &tok
+}
+
+func judge(l *Ledger, tok *resume.Token, claimant byte) resume.Verdict {
+	tell := make(chan resume.Verdict, 1)
+	l.Spend(tok, resume.Claimant{claimant}, func(v resume.Verdict) { tell <- v })
+	return <-tell
+}
+
+// What was granted stays granted to that claimant alone, over a restart; a ledger
+// whose file is lost is another, and honours nothing that names the old one.
+func TestRestart(t *testing.T) {
+	dir, r := t.TempDir(), ring(t, "a")
+	l, stop := start(t, Options{Dir: dir})
+	_, tok := token(t, r, l, time.Now(), time.Minute)
+	_, unspent := token(t, r, l, time.Now(), time.Minute)
+	if v := judge(l, tok, 1); v != resume.Granted {
+		t.Fatal(v)
+	}
+	stop()
+	l, stop = start(t, Options{Dir: dir})
+	for claimant, want := range map[byte]resume.Verdict{1: resume.Granted, 2: resume.Spent} {
+		if v := judge(l, tok, claimant); v != want || l.Kept() != 1 {
+			t.Errorf("claimant %d: %v, want %v; %d kept", claimant, v, want, l.Kept())
+		}
+	}
+	stop()
+	if err := os.WriteFile(filepath.Join(dir, FileName), []byte("not a ledger"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l, _ = start(t, Options{Dir: dir})
+	for _, old := range []*resume.Token{tok, unspent} {
+		if v := judge(l, old, 3); v != resume.Foreign {
+			t.Errorf("after its file was lost: %v", v)
+		}
+	}
+	if aside, _ := filepath.Glob(filepath.Join(dir, "*.foreign-*")); len(aside) != 1 {
+		t.Errorf("set aside: %q", aside)
+	}
+}
+
+func TestFullAndSweep(t *testing.T) {
+	for name, dir := range map[string]string{"file": t.TempDir(), "memory": ""} {
+		t.Run(name, func(t *testing.T) {
+			r := ring(t, "a")
+			l, _ := start(t, Options{Dir: dir, Records: 3, Skew: time.Hour})
+			// They expire within a moment, in windows that are over by then.
+			issued := time.Now().Add(-30 * time.Second)
+			var spent []*resume.Token
+			for range 3 {
+				_, tok := token(t, r, l, issued, 30*time.Second+400*time.Millisecond)
+				if v := judge(l, tok, 1); v != resume.Granted {
+					t.Fatal(v)
+				}
+				spent = append(spent, tok)
+			}
+			_, more := token(t, r, l, time.Now(), time.Minute)
+			if v := judge(l, more, 1); v != resume.Full || l.Ready() {
+				t.Errorf("one more: %v, ready %v", v, l.Ready())
+			}
+			if v := judge(l, spent[0], 1); v != resume.Granted {
+				t.Errorf("asked again while full: %v", v)
+			}
+			switch k := l.keeper.(type) { // time goes on: a sweep of the future
+			case *memory:
+				k.mu.Lock()
+				for w := range k.spent {
+					k.spent[w-100], k.spent[w] = k.spent[w], nil
+				}
+				k.mu.Unlock()
+				k.sweep()
+			case *durable:
+				done := make(chan struct{})
+				k.writer.Submit(hook{func(tx *store.Tx) error {
+					k.arbiter.Swept = 0
+					return moveWindows(tx, 100)
+				}, func(error) { close(done) }})
+				<-done
+				k.sweep()
+			}
+			for begun := time.Now(); l.Kept() > 0; time.Sleep(time.Millisecond) {
+				if time.Since(begun) > 10*time.Second {
+					t.Fatalf("%d records were not forgotten", l.Kept())
+				}
+			}
+			if v := judge(l, more, 1); v != resume.Granted {
+				t.Errorf("with room again: %v", v)
+			}
+		})
+	}
+}
+
+type hook struct {
+	apply func(*store.Tx) error
+	done  func(error)
+}
+
+func (h hook) Apply(tx *store.Tx) error { return h.apply(tx) }
+func (h hook) Done(err error)           { h.done(err) }
+
+// moveWindows makes all records older.
+func moveWindows(tx *store.Tx, by resume.Window) error {
+	spent := tx.Bucket(spentBucket)
+	return spent.ForEachBucket(func(k []byte) error {
+		var w resume.Window
+		for _, b := range k {
+			w = w<<8 | resume.Window(b)
+		}
+		to, err := spent.CreateBucketIfNotExists(key(w - by))
+		if err != nil {
+			return err
+		}
+		if err := spent.Bucket(k).ForEach(to.Put); err != nil {
+			return err
+		}
+		return spent.DeleteBucket(k)
+	})
+}
+
+// A ledger that can't write honours nothing, says so, and mints elsewhere.
+func TestBroken(t *testing.T) {
+	r := ring(t, "a")
+	l, _ := start(t, Options{Dir: t.TempDir()})
+	_, tok := token(t, r, l, time.Now(), time.Minute)
+	k := l.keeper.(*durable)
+	k.writer.Submit(hook{func(*store.Tx) error { return k.store.Close() }, func(error) {}}) // the disk is gone
+	if v := judge(l, tok, 1); v != resume.Broken || l.Ready() || l.Kept() != 0 {
+		t.Errorf("%v, ready %v, kept %d", v, l.Ready(), l.Kept())
+	}
+}
+
+func TestReadOnlyFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(dir, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(Options{Dir: dir, Records: 1}); err == nil || !strings.Contains(err.Error(), dir) {
+		t.Errorf("a folder that can't be made: %v", err)
+	}
+}
+
+// installation is some nodes that may talk.
+type installation struct {
+	services []*Service
+	ledgers  []*Ledger
+	stops    []func()
+	addrs    []string
+}
+
+func install(t testing.TB, n int, terms Terms) *installation {
+	in := &installation{}
+	peers := map[string]string{}
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		in.addrs = append(in.addrs, l.Addr().String())
+		peers[fmt.Sprintf("n%d", i)] = l.Addr().String()
+	}
+	for i, listener := range listeners {
+		name := fmt.Sprintf("n%d", i)
+		l, _ := start(t, Options{Dir: t.TempDir()})
+		s := NewService(name, l, terms, peers)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = (&Server{Name: name, Ledger: l, Ring: s.Ring}).Serve(ctx, listener) })
+		wg.Go(func() { s.Run(ctx) })
+		stop := func() { cancel(); wg.Wait() }
+		t.Cleanup(stop)
+		in.services, in.ledgers, in.stops = append(in.services, s), append(in.ledgers, l), append(in.stops, stop)
+	}
+	in.ready(t, n-1)
+	return in
+}
+
+// ready waits until every node's peers have said how they are.
+func (in *installation) ready(t testing.TB, peers int) {
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		missing := 0
+		for _, s := range in.services {
+			there := 0
+			for _, p := range s.peers {
+				if p.Member(time.Now()).Ready {
+					there++
+				}
+			}
+			missing += max(0, peers-there)
+		}
+		if missing == 0 {
+			return
+		}
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("peers are not ready")
+		}
+	}
+}
+
+func present(token string) resume.Presentation {
+	return resume.Presentation{Text: token, FlowKey: "k", Group: "g"}
+}
+
+// A token presented everywhere at once is honoured once, whoever arbitrates.
+func TestOnceAmongNodes(t *testing.T) {
+	in := install(t, 3, Terms{Ring: ring(t, "a", "b"), Life: time.Minute, Skew: time.Second, Wait: 5 * time.Second})
+	in.services[1].Leave() // it names others from now on
+	for round := range 30 {
+		tok := in.services[round%2].Mint("k", "g", resume.Position{Epoch: 1, Offset: uint64(round)})
+		var resumed, floors atomic.Int32
+		var wg sync.WaitGroup
+		for i := range 9 {
+			wg.Go(func() {
+				o := in.services[i%3].Redeem(context.Background(), present(tok))
+				if o.Resume {
+					resumed.Add(1)
+				}
+				if o.Floor && o.Why == resume.Spent && o.Pos.Offset == uint64(round) {
+					floors.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		if resumed.Load() != 1 || floors.Load() != 8 {
+			t.Fatalf("round %d: honoured %d times, %d told spent", round, resumed.Load(), floors.Load())
+		}
+	}
+}
+
+// With its arbiter away a token is not honoured, in bounded time; it is unspent.
+func TestArbiterAway(t *testing.T) {
+	in := install(t, 2, Terms{Ring: ring(t, "a"), Life: time.Minute, Skew: time.Second, Wait: 150 * time.Millisecond})
+	tok := in.services[0].Mint("k", "g", resume.Position{Epoch: 1, Offset: 7})
+	in.stops[0]()
+	begun := time.Now()
+	o := in.services[1].Redeem(context.Background(), present(tok))
+	if o.Resume || o.Why != resume.Unreachable || !o.Floor || o.Pos.Offset != 7 {
+		t.Errorf("%+v", o)
+	}
+	if took := time.Since(begun); took > 5*time.Second {
+		t.Errorf("it took %v", took)
+	}
+	// Its own leaves too: nobody but itself is left, and its ledger survives.
+	in.services[1].Leave()
+	if m := in.services[1].Mint("k", "g", resume.Position{}); m == "" {
+		t.Error("no token, though its own ledger survives a restart")
+	}
+	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.Resume {
+		t.Errorf("at its arbiter: %+v", o)
+	}
+	s := NewService("n9", in.ledgers[0], Terms{Ring: ring(t, "a"), Life: time.Minute, Wait: 20 * time.Millisecond}, nil)
+	if o := s.Redeem(context.Background(), present(tok)); o.Why != resume.Unreachable {
+		t.Errorf("an arbiter that nobody knows: %+v", o)
+	}
+}
+
+// Who has no key gets no verdict, and what is sent to a ledger costs it nothing.
+func TestStrangers(t *testing.T) {
+	r := ring(t, "a")
+	in := install(t, 2, Terms{Ring: r, Life: time.Minute, Skew: time.Second, Wait: time.Second})
+	tok := in.services[0].Mint("k", "g", resume.Position{})
+	k, _ := ring(t, "z").Get(1)
+	claim := strings.Repeat("0", 32)
+	for name, text := range map[string]string{
+		"other secret": sealed(k, "ask", spend, "c", "1", k.ID.String(), claim, tok),
+		"no seal":      "SPEND c 1 00000001 " + claim + " " + tok + " 00\r\n",
+		"endless":      strings.Repeat("x", 100_000),
+		"empty":        "\r\n",
+		"binary":       "\x00\xff\xfe\n",
+	} {
+		conn, err := net.Dial("tcp", in.addrs[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = conn.Write([]byte(text))
+		answer, err := bufio.NewReader(conn).ReadString('\n')
+		if strings.HasPrefix(answer, verdict) || err == nil && answer != no+"\r\n" {
+			t.Errorf("%s: answered %q", name, answer)
+		}
+		_ = conn.Close()
+	}
+	if o := in.services[1].Redeem(context.Background(), present(tok)); !o.Resume {
+		t.Errorf("the honest client's: %+v", o)
+	}
+}
+
+// A peer whose answers' seals don't fit, or which calls itself another, is no
+// arbiter.
+func TestLyingPeer(t *testing.T) {
+	for name, answer := range map[string]func(k *resume.Key, challenge, seq string) string{
+		"no key": func(*resume.Key, string, string) string { return "LEDGER 1 n1 00 ready stays 00\r\n" },
+		"old answer": func(k *resume.Key, _, seq string) string {
+			return sealed(k, "answer old", aboutMe, seq, "n1", "0102030405060708", "ready", "stays")
+		},
+		"another name": func(k *resume.Key, c, seq string) string {
+			return sealed(k, "answer "+c, aboutMe, seq, "n7", "0102030405060708", "ready", "stays")
+		},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := ring(t, "a")
+		k, _ := r.Get(1)
+		again := make(chan struct{}, 8)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				again <- struct{}{}
+				if words, err := readWords(bufio.NewReader(conn), 5); err == nil {
+					_, _ = conn.Write([]byte(answer(k, words[1], words[2])))
+				}
+			}
+		}()
+		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resume.Ring { return r }}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { p.Run(ctx); close(done) }()
+		<-again
+		<-again // it was hung up on, and called again
+		if p.Member(time.Now()).Ready {
+			t.Errorf("%s: believed", name)
+		}
+		cancel()
+		<-done
+		_ = listener.Close()
+	}
+}
+
+var errNoSpend = errors.New("not granted")
+
+// BenchmarkRedeem spends tokens at a ledger in a file, with many asking at once.
+func BenchmarkRedeem(b *testing.B) {
+	for name, o := range map[string]Options{"group": {}, "alone": {Group: 1}, "nosync": {NoSync: true}, "memory": {}} {
+		b.Run(name, func(b *testing.B) {
+			if o.Records = 1 << 24; name != "memory" {
+				o.Dir = b.TempDir()
+			}
+			l, _ := start(b, o)
+			r := ring(b, "a")
+			b.SetParallelism(64)
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					_, tok := token(b, r, l, time.Now(), time.Hour)
+					if judge(l, tok, 1) != resume.Granted {
+						b.Error(errNoSpend)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/resume/token.go
+++ b/internal/resume/token.go
@@ -132,7 +132,8 @@
 // Open reads a token and checks its seal, in constant memory whatever the text.
 // It says nothing of whose the token is or whether it has expired.
 func Open(r *Ring, text string) (Token, error) {
-	if len(text) > MaxText {
+	// The decoder passes over line ends, which would make one token of many texts.
+	if len(text) > MaxText || strings.ContainsAny(text, "\r\n") {
 		return Token{}, ErrMalformed
 	}
 	var room [MaxText]byte
--- /dev/null
+++ b/internal/resume/token_test.go
@@ -0,0 +1,291 @@
+package resume
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var now = time.UnixMilli(1_800_000_000_123)
+
+func testKey(t testing.TB, id KeyID, from time.Time) *Key {
+	k, err := NewKey(id, from, []byte(strings.Repeat(string(rune('a'+id%20)), SecretSize)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func testRing(t testing.TB, keys ...*Key) *Ring {
+	if len(keys) == 0 {
+		keys = []*Key{testKey(t, 1, now.Add(-time.Hour))}
+	}
+	r, err := NewRing(keys...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func grant() Grant {
+	return Grant{Issuer: "n1", Arbiter: "n2", Ledger: LedgerID{9}, Pos: Position{0xc0, 41}, FlowKey: "k7", Group: "g1",
+		Life: time.Minute, Nonce: Nonce{1, 2, 3}}
+}
+
+func mint(t testing.TB, r *Ring, at time.Time) string {
+	text, err := Mint(r, at, grant())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestTokenSaysWhatWasGranted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ring, err := NewRing(mustKey(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := rapid.StringN(1, -1, MaxName)
+		g := Grant{Issuer: name.Draw(t, "issuer"), Arbiter: name.Draw(t, "arbiter"),
+			Pos:     Position{rapid.Uint64().Draw(t, "epoch"), rapid.Uint64().Draw(t, "offset")},
+			FlowKey: rapid.String().Draw(t, "key"), Group: rapid.String().Draw(t, "group"),
+			Life:  time.Duration(rapid.Int64Range(1, MaxLife.Milliseconds()).Draw(t, "life")) * time.Millisecond,
+			Nonce: Nonce(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "nonce"))}
+		text, err := Mint(ring, now, g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(text) > MaxText || strings.ContainsAny(text, ", =\r\n") {
+			t.Fatalf("%d bytes: %q", len(text), text)
+		}
+		got, err := Open(ring, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Issuer != g.Issuer || got.Arbiter != g.Arbiter || got.Pos != g.Pos || got.Nonce != g.Nonce ||
+			!got.Issued.Equal(now) || !got.Expires.Equal(now.Add(g.Life)) || got.Belongs(ring, g.FlowKey, g.Group) != nil {
+			t.Fatalf("got %+v of %+v", got, g)
+		}
+		if other := g.FlowKey + "x"; got.Belongs(ring, other, g.Group) == nil {
+			t.Fatal("it belongs to another client too")
+		}
+	})
+}
+
+func mustKey(t *rapid.T) *Key {
+	k, err := NewKey(KeyID(rapid.Uint32().Draw(t, "id")), now, rapid.SliceOfN(rapid.Byte(), SecretSize, SecretSize).Draw(t, "secret"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// No bit of a token can be changed, and none left out.
+func TestSpoiledTokens(t *testing.T) {
+	ring := testRing(t)
+	text := mint(t, ring, now)
+	for i := range len(text) {
+		for _, c := range []byte{'A', '_', 'z', '=', ' '} {
+			if c == text[i] {
+				continue
+			}
+			if _, err := Open(ring, text[:i]+string(c)+text[i+1:]); err == nil {
+				t.Fatalf("byte %d may be %q", i, c)
+			}
+		}
+		if _, err := Open(ring, text[:i]); err == nil {
+			t.Fatalf("cut to %d bytes it is read", i)
+		}
+	}
+	for name, want := range map[string]struct {
+		text string
+		err  error
+	}{
+		"future version": {"Ag" + text[2:], ErrVersion},
+		"no such key":    {mint(t, testRing(t, testKey(t, 5, now)), now), ErrKey},
+		"endless":        {strings.Repeat("A", 5000), ErrMalformed},
+		"empty":          {"", ErrMalformed},
+	} {
+		if _, err := Open(ring, want.text); !errors.Is(err, want.err) {
+			t.Errorf("%s: %v, want %v", name, err, want.err)
+		}
+	}
+	other, err := NewKey(1, now, []byte(strings.Repeat("x", SecretSize)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(testRing(t, other), text); !errors.Is(err, ErrForged) {
+		t.Errorf("another secret under the same id: %v", err)
+	}
+}
+
+// A key that is rotated out of signing still verifies, and one that is not yet to
+// sign verifies already.
+func TestRotation(t *testing.T) {
+	first, second := testKey(t, 1, now.Add(-time.Hour)), testKey(t, 2, now.Add(time.Minute))
+	both := testRing(t, first, second)
+	before, after := mint(t, both, now), mint(t, both, now.Add(time.Minute))
+	for text, id := range map[string]KeyID{before: 1, after: 2} {
+		got, err := Open(both, text)
+		if err != nil || got.Key != id {
+			t.Errorf("key %v, %v, want %v", got.Key, err, id)
+		}
+	}
+	if _, err := Open(testRing(t, second), before); !errors.Is(err, ErrKey) {
+		t.Errorf("a removed key: %v", err)
+	}
+	if _, err := Mint(testRing(t, second), now, grant()); err == nil {
+		t.Error("minted by a key that does not sign yet")
+	}
+	if _, err := NewRing(first, testKey(t, 1, now)); err == nil {
+		t.Error("two keys of one id")
+	}
+}
+
+func TestBegin(t *testing.T) {
+	ring := testRing(t)
+	mine := Presentation{mint(t, ring, now), "k7", "g1"}
+	theirs, spoiled := mine, mine
+	theirs.FlowKey = "k8"
+	spoiled.Text = spoiled.Text[1:]
+	const skew = 5 * time.Second
+	for name, c := range map[string]struct {
+		p    Presentation
+		at   time.Duration
+		why  Verdict // 0: the arbiter is asked
+		seen bool    // the token proves a position all the same
+	}{
+		"fresh":                    {mine, 0, 0, false},
+		"issuer's clock 2 s ahead": {mine, -2 * time.Second, 0, false},
+		"issuer's clock far ahead": {mine, -6 * time.Second, Future, true},
+		"expired by a second":      {mine, 61 * time.Second, 0, false}, // our clock may be ahead: its arbiter says
+		"expired beyond doubt":     {mine, 66 * time.Second, Expired, true},
+		"another client's":         {theirs, 0, Stranger, false},
+		"cut short":                {spoiled, 0, Forged, false},
+	} {
+		_, o, settled := Begin(ring, now.Add(c.at), c.p, skew)
+		if settled != (c.why != 0) || o.Why != c.why || o.Floor != c.seen || o.Resume {
+			t.Errorf("%s: %+v, settled %v", name, o, settled)
+		}
+	}
+	r, _, _ := Begin(ring, now, mine, skew)
+	if o, ok := r.Answered(Granted); !ok || !o.Resume || o.Pos != (Position{0xc0, 41}) || o.Nonce != (Nonce{1, 2, 3}) {
+		t.Errorf("granted: %+v, %v", o, ok)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	ring := testRing(t)
+	tok, err := Open(ring, mint(t, ring, now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	me, other := Claimant{1}, Claimant{2}
+	for name, c := range map[string]struct {
+		change func(*Arbiter)
+		at     time.Duration
+		had    *Claimant
+		want   Verdict
+		fresh  bool
+	}{
+		"first":                          {want: Granted, fresh: true},
+		"asked again by the same":        {had: &me, want: Granted},
+		"had by another":                 {had: &other, want: Spent},
+		"had by another, and expired":    {had: &other, at: 2 * time.Minute, want: Spent},
+		"a millisecond before its end":   {at: time.Minute - time.Millisecond, want: Granted, fresh: true},
+		"at its end":                     {at: time.Minute, want: Expired},
+		"expired by a second":            {at: 61 * time.Second, want: Expired},
+		"clock 2 s behind the issuer's":  {at: -2 * time.Second, want: Granted, fresh: true},
+		"clock 6 s behind":               {at: -6 * time.Second, want: Future},
+		"another ledger":                 {change: func(a *Arbiter) { a.ID = LedgerID{8} }, want: Foreign},
+		"full":                           {change: func(a *Arbiter) { a.Kept = 3 }, want: Full},
+		"full, asked again by the same":  {change: func(a *Arbiter) { a.Kept = 3 }, had: &me, want: Granted},
+		"clock set back behind the mark": {change: func(a *Arbiter) { a.Swept = WindowOf(tok.Expires) }, at: -time.Hour, want: Expired},
+	} {
+		a := Arbiter{ID: LedgerID{9}, Limit: 3, Skew: 5 * time.Second}
+		if c.change != nil {
+			c.change(&a)
+		}
+		v, fresh := a.Judge(now.Add(c.at), &tok, me, func(w Window, n Nonce) (Claimant, bool) {
+			if c.had == nil || w != WindowOf(tok.Expires) || n != tok.Nonce {
+				return Claimant{}, false
+			}
+			return *c.had, true
+		})
+		if v != c.want || fresh != c.fresh {
+			t.Errorf("%s: %v, fresh %v, want %v, %v", name, v, fresh, c.want, c.fresh)
+		}
+	}
+}
+
+func TestChoose(t *testing.T) {
+	self := Member{Name: "n1", Ready: true, Stays: true}
+	peers := []Member{{Name: "n2", Ready: true}, {Name: "n3", Ready: true}, {Name: "n4"}}
+	if m, ok := Choose(self, false, peers, Nonce{}); !ok || m.Name != "n1" {
+		t.Errorf("it stays: %v", m)
+	}
+	count := map[string]int{}
+	for i := range 256 {
+		m, _ := Choose(self, true, peers, Nonce{byte(i)})
+		count[m.Name]++
+	}
+	if count["n1"]+count["n4"] > 0 || count["n2"] < 64 || count["n3"] < 64 {
+		t.Errorf("it leaves: %v", count)
+	}
+	if m, ok := Choose(self, true, nil, Nonce{}); !ok || m.Name != "n1" {
+		t.Error("alone, with a ledger that survives, it is still the arbiter")
+	}
+	self.Stays = false
+	if _, ok := Choose(self, true, nil, Nonce{}); ok {
+		t.Error("nobody could arbitrate, and one was named")
+	}
+	full := Member{Name: "n1"}
+	if m, ok := Choose(full, false, peers, Nonce{}); !ok || m.Name == "n1" {
+		t.Errorf("its ledger is full, and %v was named", m.Name)
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	ring := testRing(f)
+	text := mint(f, ring, now)
+	for _, seed := range []string{text, text[:40], "Ag" + text[2:], "", "====", strings.Repeat("A", 300)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		got, err := Open(ring, s)
+		if err == nil && s != text {
+			t.Errorf("%q was read as %+v, and nobody minted it", s, got)
+		}
+	})
+}
+
+func BenchmarkMint(b *testing.B) {
+	ring := testRing(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		mint(b, ring, now)
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	ring := testRing(b)
+	good := mint(b, ring, now)
+	for name, text := range map[string]string{"good": good, "forged": good[:len(good)-4] + "AAAA", "noise": "not a token at all"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				tok, err := Open(ring, text)
+				if err == nil {
+					err = tok.Belongs(ring, "k7", "g1")
+				}
+				if (err == nil) != (name == "good") {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/rig/resume.go
+++ b/internal/rig/resume.go
@@ -574,4 +574,3 @@
 	}
 	s.Least("resumed", s.Get("moves")/4)
 }
-
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,10 +71,6 @@
 	idKey      = []byte("id")
 )
 
-// checkedBytes is the size up to which every page of a file is checked when it is
-// opened; of a larger one only its head and length are.
-const checkedBytes = 64 << 20
-
 // Open opens the store at path, or makes one. A file that is torn, foreign or
 // newer is set aside and a fresh store made in its place, which has another ID;
 // Aside and Why tell of it. With ReadOnly it is an error instead.
@@ -216,16 +212,7 @@
 		if layout > uint64(len(schema.Migrations)) {
 			return fmt.Errorf("%w: layout %d, this one knows %d", ErrNewer, layout, len(schema.Migrations))
 		}
-		if tx.Size() > checkedBytes {
-			return nil
-		}
-		var first error
-		for damage := range tx.Check() { // the channel has to be read to its end
-			if first == nil {
-				first = fmt.Errorf("%w: %w", ErrTorn, damage)
-			}
-		}
-		return first
+		return nil
 	})
 	if err != nil {
 		return fmt.Errorf("store %s: %w", path, err)
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,252 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+)
+
+var things = []byte("things")
+
+// schema's second layout adds a mark, so that a migration has something to do.
+var first = Schema{Kind: "test", Migrations: []func(*Tx) error{
+	func(tx *Tx) error { _, err := tx.CreateBucket(things); return err },
+}}
+var second = Schema{Kind: "test", Migrations: append(first.Migrations[:1:1],
+	func(tx *Tx) error { return tx.Bucket(things).Put([]byte("mark"), []byte("2")) })}
+
+func put(t *testing.T, s *Store, key, value string) {
+	t.Helper()
+	if err := s.Update(func(tx *Tx) error { return tx.Bucket(things).Put([]byte(key), []byte(value)) }); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func get(s *Store, key string) (value string) {
+	_ = s.View(func(tx *Tx) error { value = string(tx.Bucket(things).Get([]byte(key))); return nil })
+	return value
+}
+
+func mustOpen(t *testing.T, path string, schema Schema) *Store {
+	t.Helper()
+	s, err := Open(path, schema, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func TestMigration(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a", "x.db")
+	s := mustOpen(t, path, first)
+	put(t, s, "k", "v")
+	id := s.ID
+	_ = s.Close()
+	if _, err := Open(path, second, Options{ReadOnly: true}); err == nil {
+		t.Error("an older layout was passed off as the newer to a reader")
+	}
+	s = mustOpen(t, path, second)
+	if s.ID != id || get(s, "k") != "v" || get(s, "mark") != "2" || s.Layout() != 2 || s.Aside != "" {
+		t.Errorf("after the migration: %v of %v, %q, layout %d, aside %q", s.ID, id, get(s, "mark"), s.Layout(), s.Aside)
+	}
+	_ = s.Close()
+	failing := Schema{Kind: "test", Migrations: append(second.Migrations[:2:2], func(tx *Tx) error {
+		_ = tx.Bucket(things).Put([]byte("k"), []byte("lost"))
+		return errors.New("no")
+	})}
+	if _, err := Open(path, failing, Options{}); err == nil {
+		t.Error("a migration that failed went through")
+	}
+	if s = mustOpen(t, path, second); get(s, "k") != "v" {
+		t.Error("a migration that failed left traces")
+	}
+	_ = s.Close()
+
+	s = mustOpen(t, path, first) // an older release finds a newer file
+	if !errors.Is(s.Why, ErrNewer) || !strings.Contains(s.Aside, "newer") || s.ID == id || get(s, "k") != "" {
+		t.Errorf("newer file: aside %q, %v, id %v", s.Aside, s.Why, s.ID)
+	}
+	if back := mustOpen(t, s.Aside, second); get(back, "k") != "v" {
+		t.Error("what was set aside is not whole")
+	}
+}
+
+func TestForeign(t *testing.T) {
+	dir := t.TempDir()
+	for name, make := range map[string]func(path string){
+		"text": func(path string) { _ = os.WriteFile(path, []byte(strings.Repeat("dear diary\n", 5000)), 0o600) },
+		"other kind": func(path string) {
+			s := mustOpen(t, path, Schema{Kind: "other", Migrations: first.Migrations})
+			_ = s.Close()
+		},
+	} {
+		path := filepath.Join(dir, name)
+		make(path)
+		before, _ := os.ReadFile(path)
+		s := mustOpen(t, path, first)
+		after, _ := os.ReadFile(s.Aside)
+		if !errors.Is(s.Why, ErrForeign) || !bytes.Equal(before, after) {
+			t.Errorf("%s: %v, aside %q", name, s.Why, s.Aside)
+		}
+		if _, err := Open(path, Schema{Kind: "third", Migrations: first.Migrations}, Options{ReadOnly: true}); err == nil {
+			t.Errorf("%s: a reader was given another kind", name)
+		}
+	}
+	if err := os.Mkdir(filepath.Join(dir, "folder"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(filepath.Join(dir, "folder"), first, Options{}); err == nil {
+		t.Error("a folder is no store")
+	}
+}
+
+// A file cut off at any length, or with any page spoiled, yields the store as it
+// was, or is set aside and said so: never a crash, never a part.
+func TestTorn(t *testing.T) {
+	dir := t.TempDir()
+	whole := filepath.Join(dir, "whole")
+	s := mustOpen(t, whole, first)
+	for i := range 50 {
+		put(t, s, fmt.Sprintf("k%02d", i), strings.Repeat("v", 300))
+	}
+	id := s.ID
+	_ = s.Close()
+	raw, err := os.ReadFile(whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(what string, text []byte, values bool) {
+		path := filepath.Join(dir, "torn")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Open(path, first, Options{})
+		if err != nil {
+			t.Errorf("%s: %v", what, err)
+			return
+		}
+		if s.ID == id && values { // bbolt has no checksum of values
+			for i := range 50 {
+				if get(s, fmt.Sprintf("k%02d", i)) != strings.Repeat("v", 300) {
+					t.Errorf("%s: opened as the same store, and k%02d is gone", what, i)
+					break
+				}
+			}
+		} else if s.ID != id && s.Aside == "" && len(text) > 0 {
+			t.Errorf("%s: another store, and nothing was said", what)
+		}
+		if s.Aside != "" {
+			_ = os.Remove(s.Aside)
+		}
+		_ = s.Close()
+		_ = os.Remove(path)
+	}
+	for n := 0; n < len(raw); n += 509 {
+		check(fmt.Sprintf("cut to %d", n), raw[:n], true)
+	}
+	for at := 0; at < len(raw); at += 1024 {
+		spoiled := bytes.Clone(raw)
+		for i := range 64 {
+			spoiled[at+i] ^= 0xa5
+		}
+		check(fmt.Sprintf("spoiled at %d", at), spoiled, false)
+	}
+}
+
+func TestHeld(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.db")
+	s := mustOpen(t, path, first)
+	_, err := Open(path, first, Options{})
+	if !errors.Is(err, ErrHeld) || !strings.Contains(err.Error(), fmt.Sprintf("pid %d", os.Getpid())) {
+		t.Errorf("held: %v, want one that names who has it", err)
+	}
+	_ = s.Close()
+	mustOpen(t, path, first)
+}
+
+type write struct {
+	key  string
+	fail error
+	done chan error
+}
+
+func (w *write) Apply(tx *Tx) error {
+	if w.fail != nil {
+		return w.fail
+	}
+	return tx.Bucket(things).Put([]byte(w.key), []byte("v"))
+}
+func (w *write) Done(err error) { w.done <- err }
+
+// What is told to be written is; a group that fails leaves nothing, and the next
+// goes on.
+func TestWriter(t *testing.T) {
+	s := mustOpen(t, filepath.Join(t.TempDir(), "x.db"), first)
+	w := NewWriter(s, 8)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	bad := &write{key: "bad", fail: errors.New("no"), done: make(chan error, 1)}
+	beside := &write{key: "beside", done: make(chan error, 1)}
+	w.Submit(beside)
+	w.Submit(bad) // one group with beside, as nobody commits yet
+	for range 100 {
+		w.Submit(&write{key: "many", done: make(chan error, 1)})
+	}
+	late := &write{done: make(chan error, 1)}
+	if w.Submit(late); !errors.Is(<-late.done, ErrBusy) {
+		t.Error("too much waits, and nobody was told")
+	}
+	go func() { w.Run(ctx); close(ended) }()
+	if <-bad.done == nil || <-beside.done == nil || get(s, "beside") != "" {
+		t.Error("a group that failed left a part")
+	}
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			x := &write{key: fmt.Sprint(i), done: make(chan error, 1)}
+			for w.Submit(x); ; w.Submit(x) {
+				err := <-x.done
+				if err == nil {
+					break
+				}
+				if !errors.Is(err, ErrBusy) {
+					t.Errorf("write %d: %v", i, err)
+					return
+				}
+			}
+			if get(s, x.key) != "v" {
+				t.Errorf("write %d was told done and is not there", i)
+			}
+		})
+	}
+	wg.Wait()
+	cancel()
+	<-ended
+}
+
+func TestFull(t *testing.T) {
+	s, err := Open(filepath.Join(t.TempDir(), "x.db"), first, Options{MaxBytes: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	failed := false
+	for i := 0; i < 100 && !failed; i++ {
+		failed = s.Update(func(tx *Tx) error {
+			return tx.Bucket(things).Put([]byte(fmt.Sprint(i)), make([]byte, 64<<10))
+		}) != nil
+	}
+	if !failed {
+		t.Error("it grew beyond its bound")
+	}
+	if get(s, "0") == "" {
+		t.Error("what was written before is gone")
+	}
+}
