--- a/cmd/coralrig/main.go
+++ b/cmd/coralrig/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"os/signal"
@@ -47,6 +48,14 @@
 	return nil
 }
 
+// terminal is where progress is shown, nil if nobody looks.
+func terminal() io.Writer {
+	if info, err := os.Stderr.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return os.Stderr
+}
+
 type resumeCmd struct {
 	common
 	Moves   int `default:"1000" help:"Clients moved in all."`
@@ -60,7 +69,7 @@
 		return list(rig.ResumeSabotages)
 	}
 	r, err := rig.Resume(ctx, rig.ResumeOptions{Seed: c.Seed, Moves: c.Moves, Nodes: c.Nodes, Servers: c.Servers,
-		Clients: c.Clients, Binary: top.Node, Sabotage: c.Sabotage, Progress: os.Stderr})
+		Clients: c.Clients, Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,6 +27,10 @@
 // group is how many presentations are made durable at once, at most.
 const group = 512
 
+// waiting is how many presentations may wait for that; beyond it they are told
+// that the ledger is full.
+const waiting = 2048
+
 var (
 	spentBucket = []byte("spent")
 	sweptKey    = []byte("swept")
@@ -43,11 +47,12 @@
 
 // Options bound a ledger.
 type Options struct {
-	Dir     string        // where its file is; empty for one in memory, which a restart empties
-	Records int           // tokens remembered at most
-	Skew    time.Duration // by which an issuer's clock may be ahead
-	Group   int           // presentations made durable at once at most; 0 for the default
-	NoSync  bool          // spare the disk's sync: safe over a crash of the node, not of the machine
+	Dir     string           // where its file is; empty for one in memory, which a restart empties
+	Records int              // tokens remembered at most
+	Skew    time.Duration    // by which an issuer's clock may be ahead
+	Group   int              // presentations made durable at once at most; 0 for the default
+	NoSync  bool             // spare the disk's sync: safe over a crash of the node, not of the machine
+	Now     func() time.Time // nil for time.Now
 }
 
 // keeper holds the records.
@@ -67,6 +72,7 @@
 	kept   atomic.Int64
 	limit  int64
 	broken atomic.Bool // the last write failed
+	now    func() time.Time
 }
 
 // Open opens the ledger that o names. Run has to be called for it to answer.
@@ -74,7 +80,10 @@
 	if o.Group == 0 {
 		o.Group = group
 	}
-	l := &Ledger{limit: int64(o.Records)}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	l := &Ledger{limit: int64(o.Records), now: o.Now}
 	a := resume.Arbiter{Limit: o.Records, Skew: o.Skew}
 	if o.Dir == "" {
 		_, _ = rand.Read(a.ID[:])
@@ -95,7 +104,7 @@
 			"aside", s.Aside, "err", s.Why)
 	}
 	a.ID = resume.LedgerID(s.ID)
-	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group)}
+	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group, waiting)}
 	if err := d.load(); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), s.Close())
 	}
@@ -185,7 +194,7 @@
 
 func (p *presentation) Apply(tx *store.Tx) error {
 	spent := tx.Bucket(spentBucket)
-	p.verdict, p.fresh = p.d.arbiter.Judge(time.Now(), p.token, p.claimant,
+	p.verdict, p.fresh = p.d.arbiter.Judge(p.d.ledger.now(), p.token, p.claimant,
 		func(w resume.Window, n resume.Nonce) (c resume.Claimant, ok bool) {
 			if had, ok := p.d.cheat[n]; ok {
 				return had, true
@@ -246,7 +255,7 @@
 
 func (s *sweep) Apply(tx *store.Tx) error {
 	s.count = 0
-	w, ok := s.d.arbiter.Sweepable(time.Now())
+	w, ok := s.d.arbiter.Sweepable(s.d.ledger.now())
 	if !ok {
 		return nil
 	}
@@ -302,7 +311,7 @@
 
 func (m *memory) spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
 	m.mu.Lock()
-	v, fresh := m.arbiter.Judge(time.Now(), t, c, func(w resume.Window, n resume.Nonce) (resume.Claimant, bool) {
+	v, fresh := m.arbiter.Judge(m.ledger.now(), t, c, func(w resume.Window, n resume.Nonce) (resume.Claimant, bool) {
 		had, ok := m.spent[w][n]
 		return had, ok
 	})
@@ -322,7 +331,7 @@
 func (m *memory) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w, ok := m.arbiter.Sweepable(time.Now())
+	w, ok := m.arbiter.Sweepable(m.ledger.now())
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	f, err := Parse([]byte(`{"resume":{"life":"90s"}}`))
+	if err != nil || f.Resume.Life.Seconds() != 90 || f.Resume.Enabled || f.Log.Level != "info" {
+		t.Errorf("%+v, %v", f, err)
+	}
+	for text, key := range map[string]string{
+		`{"log":{"level":"loud"}}`:                              "log.level",
+		`{"resume":{"enabled":true}}`:                           "resume.keys",
+		`{"resume":{"life":"1ms"}}`:                             "resume.life",
+		`{"resume":{"life":3}}`:                                 "resume.life",
+		`{"resume":{"ledger":{"records":0}}}`:                   "resume.ledger.records",
+		`{"resume":{"ledger":{"listen":"x"}}}`:                  "resume.ledger.listen",
+		`{"resume":{"ledger":{"peers":{"n 2":"127.0.0.1:1"}}}}`: "resume.ledger.peers.n 2",
+		`{"resume":{"lif":"3s"}}`:                               "lif",
+		`{} {}`:                                                 "record",
+		`{`:                                                     "EOF",
+	} {
+		if _, err := Parse([]byte(text)); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s: %v, want an error that names %s", text, err, key)
+		}
+	}
+}
+
+// Without the helper beside it the node says what to do.
+func TestLoadWithoutHelper(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "own.cue")
+	if err := os.WriteFile(path, []byte("log: {}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil || !strings.Contains(err.Error(), "coralctl") {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestFixed(t *testing.T) {
+	a, b := Default(), Default()
+	b.Log.Level, b.Resume.Life.Duration = "debug", 1
+	if keys := a.Fixed(&b); keys != nil {
+		t.Errorf("these can change: %q", keys)
+	}
+	b.Log.Format, b.Resume.Ledger.Dir = "json", "x"
+	if keys := a.Fixed(&b); !slices.Equal(keys, []string{"log.format", "resume.ledger"}) {
+		t.Errorf("%q", keys)
+	}
+}
--- a/internal/operator/schema/schema.go
+++ b/internal/operator/schema/schema.go
@@ -82,7 +82,7 @@
 	var lines []string
 	seen := map[string]bool{}
 	for _, e := range errors.Errors(err) {
-		key := strings.Join(e.Path(), ".")
+		key := strings.TrimPrefix(strings.Join(e.Path(), "."), "#File.")
 		if seen[key] && key != "" {
 			continue
 		}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -24,10 +24,10 @@
 	queue chan Write
 }
 
-// NewWriter returns a Writer that commits up to most writes at once and lets four
-// times as many wait.
-func NewWriter(s *Store, most int) *Writer {
-	return &Writer{store: s, most: most, queue: make(chan Write, 4*most)}
+// NewWriter returns a Writer that commits up to most writes at once and lets so
+// many wait.
+func NewWriter(s *Store, most, waiting int) *Writer {
+	return &Writer{store: s, most: most, queue: make(chan Write, waiting)}
 }
 
 // Submit queues a write and returns at once. If too much waits it is told so.
