--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -11,6 +12,7 @@
 	"coralrelay/internal/ledger"
 	"coralrelay/internal/operator"
 	"coralrelay/internal/session"
+	"coralrelay/internal/store"
 )
 
 // resumption is moving with a resume token, where it is switched on; nil where it
@@ -33,8 +35,13 @@
 		return nil, err
 	}
 	l, err := ledger.Open(ledger.Options{Dir: o.Ledger.Dir, Records: o.Ledger.Records, Skew: o.Skew.Duration})
-	if err != nil {
+	switch {
+	case errors.Is(err, store.ErrHeld): // two nodes with one folder would never do
 		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
+	case err != nil:
+		// A disk that is full or read-only must not keep the node from serving.
+		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
+		l = ledger.Broke()
 	}
 	s := ledger.NewService(name, l, terms, o.Ledger.Peers)
 	if o.Ledger.Listen != "" {
--- a/cmd/coralrelay/resume_test.go
+++ b/cmd/coralrelay/resume_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -162,6 +163,27 @@
 	}
 }
 
+// A ledger that can't be opened does not keep the node from serving.
+func TestServesWithoutLedger(t *testing.T) {
+	own := switchedOn(t)
+	own.Resume.Ledger.Dir = filepath.Join(own.Resume.Keys, "nowhere")
+	if err := os.WriteFile(own.Resume.Ledger.Dir, nil, 0o600); err != nil { // a file stands in its place
+		t.Fatal(err)
+	}
+	addr, hop, _ := resumeNode(t, own)
+	c := call(t, addr, openResumable("a", "1"))
+	hop.say <- "UP r1 rs=1\r\n"
+	c.line()
+	<-hop.asked
+	<-hop.asked
+	hop.say <- "RESUMED c0:41\r\nMOVE\r\n"
+	c.line()
+	if s := c.line(); s != "MOVE" { // nobody could arbitrate a token
+		t.Errorf("moved with %q", s)
+	}
+	hop.say <- ""
+}
+
 // Where it is off, or was not asked for, nothing on any socket is other than
 // before; a next hop without such streams gets no START.
 func TestOffChangesNothing(t *testing.T) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -112,6 +112,24 @@
 	return l, nil
 }
 
+// Broke returns the ledger of a node whose own could not be opened: it grants
+// nothing, and its node names peers as arbiters.
+func Broke() *Ledger {
+	l := &Ledger{now: time.Now, keeper: nothing{}}
+	_, _ = rand.Read(l.ID[:])
+	return l
+}
+
+// nothing keeps no records.
+type nothing struct{}
+
+func (nothing) spend(_ *resume.Token, _ resume.Claimant, tell func(resume.Verdict)) {
+	tell(resume.Broken)
+}
+func (nothing) sweep()                  {}
+func (nothing) run(ctx context.Context) { <-ctx.Done() }
+func (nothing) close() error            { return nil }
+
 // Run keeps the ledger until ctx ends, and closes it.
 func (l *Ledger) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -232,7 +232,7 @@
 	}
 	for i, listener := range listeners {
 		name := fmt.Sprintf("n%d", i)
-		l, _ := start(t, Options{Dir: t.TempDir()})
+		l, _ := start(t, Options{Dir: t.TempDir(), Records: 1 << 20})
 		s := NewService(name, l, terms, peers)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -28,8 +28,8 @@
 func (q quiet) Answered(_, answer string, _ bool, _ time.Duration) {
 	q.Add(answer, 1)
 }
-func (q quiet) Moved(string, string, string)          { q.Add("moved", 1) }
-func (q quiet) Streaming(string, bool, time.Duration) {}
+func (q quiet) Moved(string, string, string)                               { q.Add("moved", 1) }
+func (q quiet) Streaming(string, bool, bool, time.Duration, time.Duration) {}
 
 // Demo shows a node at work: four feed servers, one of which drains half way.
 func Demo(ctx context.Context, o DemoOptions) error {
--- a/internal/rig/resume.go
+++ b/internal/rig/resume.go
@@ -61,12 +61,13 @@
 
 	mu      sync.Mutex
 	ring    *resume.Ring
-	tokens  []shown                 // the latest, for those who present them again
-	owners  map[resume.Nonce]string // the client that was given it
-	honored map[string]string       // by nonce in hexadecimal digits: where
-	gaps    *hdrhistogram.Histogram // microseconds
-	setups  map[bool]*hdrhistogram.Histogram
-	busy    map[string]time.Time // a server's or node's next fault, at the earliest
+	tokens  []shown                          // the latest, for those who present them again
+	owners  map[resume.Nonce]string          // the client that was given it
+	honored map[string]string                // by nonce in hexadecimal digits: where
+	gaps    *hdrhistogram.Histogram          // microseconds
+	setups  map[bool]*hdrhistogram.Histogram // to UP, by whether a token was presented
+	begins  map[bool]*hdrhistogram.Histogram // from UP to the stream's begin, likewise
+	busy    map[string]time.Time             // a server's or node's next fault, at the earliest
 }
 
 type shown struct {
@@ -81,8 +82,7 @@
 	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: standin.NewRoster(),
 		feed:   standin.NewFeed(max(4, o.Clients/8), 30, o.Seed),
 		owners: map[resume.Nonce]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
-		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: map[bool]*hdrhistogram.Histogram{
-			false: hdrhistogram.New(1, 60_000_000, 3), true: hdrhistogram.New(1, 60_000_000, 3)}}
+		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
 	r.Scaled = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
 		int(time.Second/changeEvery))
 	dir, err := os.MkdirTemp("", "coralrig-")
@@ -105,6 +105,10 @@
 	return r, nil
 }
 
+func twoHistograms() map[bool]*hdrhistogram.Histogram {
+	return map[bool]*hdrhistogram.Histogram{false: hdrhistogram.New(1, 60_000_000, 3), true: hdrhistogram.New(1, 60_000_000, 3)}
+}
+
 // changeEvery is the pace of changes: each listing of a group changes every few
 // seconds, so that a change that was missed stays missed for long enough to see.
 const changeEvery = 10 * time.Millisecond
@@ -551,7 +555,10 @@
 }
 
 // Streaming keeps the gap in delivery.
-func (s *scene) Streaming(_ string, resumed bool, gap time.Duration) {
+func (s *scene) Streaming(_ string, presented, resumed bool, wait, gap time.Duration) {
+	s.mu.Lock()
+	_ = s.begins[presented].RecordValue(wait.Microseconds())
+	s.mu.Unlock()
 	if gap == 0 {
 		return
 	}
@@ -566,10 +573,12 @@
 func (s *scene) figures() {
 	s.Set("gap ms p50", float64(s.gaps.ValueAtQuantile(50))/1000)
 	s.Set("gap ms p99", float64(s.gaps.ValueAtQuantile(99))/1000)
-	s.Set("set-up ms p50 with a token", float64(s.setups[true].ValueAtQuantile(50))/1000)
-	s.Set("set-up ms p50 without", float64(s.setups[false].ValueAtQuantile(50))/1000)
-	s.Set("set-up ms p99 with a token", float64(s.setups[true].ValueAtQuantile(99))/1000)
-	s.Set("set-up ms p99 without", float64(s.setups[false].ValueAtQuantile(99))/1000)
+	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
+		for _, q := range []float64{50, 99} {
+			s.Set(fmt.Sprintf("set-up ms p%g %s", q, name), float64(s.setups[presented].ValueAtQuantile(q))/1000)
+			s.Set(fmt.Sprintf("stream begins ms p%g %s", q, name), float64(s.begins[presented].ValueAtQuantile(q))/1000)
+		}
+	}
 	s.Set("bytes of resumptions against snapshots", s.Get("bytes of resumptions")/max(1, s.Get("bytes of snapshots in their place")))
 	s.Set("refused tokens", s.Get("presented again")+s.Get("stolen")+s.Get("spoiled")+s.Get("presentations served")-s.Get("resumed"))
 	for _, f := range []string{"drains", "presented again", "stolen", "spoiled", "snapshots", "resumed"} {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -31,9 +31,9 @@
 	Answered(key, answer string, presented bool, took time.Duration)
 	// Moved is told of a MOVE, and its token if it has one.
 	Moved(key, group, token string)
-	// Streaming is told that a stream has begun, how, and how long after the last
-	// line before it.
-	Streaming(key string, resumed bool, gap time.Duration)
+	// Streaming is told that a stream has begun: whether a token was presented and
+	// honoured, how long after UP, and how long after the last line before.
+	Streaming(key string, presented, resumed bool, wait, gap time.Duration)
 }
 
 // Client follows one group, for as long as it runs.
@@ -80,7 +80,7 @@
 			token = c.twice(ctx, token)
 			continue
 		}
-		next, pause := c.once(ctx, token, nil)
+		next, pause := c.once(ctx, token)
 		token = next
 		sleep(ctx, pause)
 	}
@@ -103,9 +103,9 @@
 	wg.Go(func() {
 		short, stop := context.WithTimeout(ctx, 2*c.Patience)
 		defer stop()
-		other.once(short, token, nil)
+		other.once(short, token)
 	})
-	next, pause := c.once(ctx, token, nil)
+	next, pause := c.once(ctx, token)
 	cancel()
 	wg.Wait()
 	sleep(ctx, pause)
@@ -114,7 +114,7 @@
 
 // once makes one connection and follows it to its end. It returns the token to
 // present next, if there is one, and the pause before.
-func (c *Client) once(ctx context.Context, token string, answered func(string)) (next string, pause time.Duration) {
+func (c *Client) once(ctx context.Context, token string) (next string, pause time.Duration) {
 	node, addr := c.Front.Pick(c.rng)
 	again := 20*time.Millisecond + time.Duration(c.rng.IntN(180))*time.Millisecond
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
@@ -157,9 +157,6 @@
 	}
 	word, rest, _ := strings.Cut(first, " ")
 	c.Diary.Answered(c.Key, word, token != "", took)
-	if answered != nil {
-		answered(word)
-	}
 	if word != "UP" {
 		if extra, err := r.ReadString('\n'); err == nil {
 			c.Diary.Broken("one-answer", fmt.Sprintf("%s at %s: %q after %q", c.Key, node, extra, first))
@@ -195,8 +192,7 @@
 			fmt.Fprintf(conn, "HI %d\r\n", n)
 		}
 	})
-	left, began := 0, false
-	state := map[int]uint64{}
+	left, began, up := 0, false, time.Now()
 	for {
 		text, err := r.ReadString('\n')
 		if err != nil {
@@ -217,7 +213,7 @@
 			}
 			return rest
 		case "RESUMED", "SNAPSHOT", "ITEM", "UPD":
-			if err := c.take(word, rest, state, &left, &began, presented); err != nil {
+			if err := c.take(word, rest, &left, &began, presented, up); err != nil {
 				c.Diary.Broken("stream", fmt.Sprintf("%s at %s: %q: %v", c.Key, node, text, err))
 				return ""
 			}
@@ -234,7 +230,7 @@
 }
 
 // take takes one line of the stream.
-func (c *Client) take(word, rest string, state map[int]uint64, left *int, began *bool, presented bool) error {
+func (c *Client) take(word, rest string, left *int, began *bool, presented bool, up time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -245,7 +241,7 @@
 			gap = now.Sub(c.last)
 		}
 		*began, c.since, c.last = true, now, now
-		c.Diary.Streaming(c.Key, resumed, gap)
+		c.Diary.Streaming(c.Key, presented, resumed, now.Sub(up), gap)
 	}
 	switch {
 	case word == "RESUMED" && len(words) == 1 && !*began:
