--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -22,6 +22,7 @@
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/exchange"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/operator"
@@ -163,7 +164,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := caller.New(core, caller.Limits{Sockets: c.Limits.Sockets - min(spareSockets, c.Limits.Sockets/4),
+	server := caller.New(exchange.Decided{Core: core, Branches: hops}, caller.Limits{Sockets: c.Limits.Sockets - min(spareSockets, c.Limits.Sockets/4),
 		Pause: pause(c.Settings.Limits)})
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -9,20 +9,42 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
 	"coralrelay/internal/tally"
 )
 
 // homeAgain is the pause before a next hop is offered once more what it held.
 const homeAgain = 100 * time.Millisecond
 
-// Branches makes attempts and probes. Its methods return at once; what becomes
-// of them is told to the Core.
+// Request is what a front tells of an item when it brings it.
+type Request struct {
+	ID, Class, Key, Group string
+	At                    string // the next hop that already holds it; empty if none
+	Hint                  float64
+	Retry, Returned       bool
+	Deadline              time.Time // the final answer must be out by then
+}
+
+// Item is what is placed: a line transaction, a flow, a question of another proxy.
+// It is compared by identity, so it has to be a pointer. Its methods return at once
+// and may be called at any time; of Refuse, Fail and the front's own way to say that
+// it is up, the first counts, and is the one final answer.
+type Item interface {
+	Asked() *Request // does not change
+	Refuse(pause time.Duration) bool
+	Fail() bool
+	Move() // asks what stands to go elsewhere; before that it does nothing
+}
+
+// Branches makes the attempts of one front's items. Start returns at once; what
+// becomes of the attempt is told to the Core by BranchUp or BranchEnded, once.
 type Branches interface {
-	Start(t *exchange.Transaction, attempt int, server string, deadline time.Time)
-	Probe(server string)
+	Start(item Item, attempt int, server string, deadline time.Time)
 }
 
+// Prober asks next hops for their load. Probe returns at once; the answer is told
+// to the Core by Probed.
+type Prober interface{ Probe(server string) }
+
 // Roster is asked for the list of next hops. Subscribe returns at once.
 type Roster interface{ Subscribe() }
 
@@ -30,7 +52,7 @@
 type Core struct {
 	clock    Clock
 	balancer *balance.Balancer
-	branches Branches
+	prober   Prober
 	roster   Roster
 	inbox    chan func()
 	done     chan struct{}
@@ -46,15 +68,17 @@
 
 // entry is what the Core keeps of a transaction.
 type entry struct {
-	t        *exchange.Transaction
-	server   string // of its latest branch
+	item     Item
+	asked    *Request
+	branches Branches // of the front that brought it
+	server   string   // of its latest branch
 	attempts int
 	open     bool
 	early    func() // its end, told before its start
 }
 
 // New returns a Core for settings; Run starts it.
-func New(clock Clock, seed uint64, set balance.Settings, b Branches, r Roster) (*Core, error) {
+func New(clock Clock, seed uint64, set balance.Settings, p Prober, r Roster) (*Core, error) {
 	balancer, err := balance.New(seed, set)
 	if err != nil {
 		return nil, err
@@ -63,7 +87,7 @@
 	for _, class := range set.Classes {
 		classes[class.Name] = true
 	}
-	return &Core{clock: clock, balancer: balancer, branches: b, roster: r,
+	return &Core{clock: clock, balancer: balancer, prober: p, roster: r,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
 		classes: classes, transactions: map[string]*entry{}, delays: newDelays(set.Classes)}, nil
 }
@@ -115,28 +139,28 @@
 	switch a := action.(type) {
 	case balance.Attempt:
 		if e := c.transactions[a.ID]; e != nil {
-			deadline := e.t.Deadline
+			deadline := e.asked.Deadline
 			if a.Timeout > 0 && now.Add(a.Timeout).Before(deadline) {
 				deadline = now.Add(a.Timeout)
 			}
 			e.server = a.Server
-			c.branches.Start(e.t, e.attempts, a.Server, deadline)
+			e.branches.Start(e.item, e.attempts, a.Server, deadline)
 			e.attempts++
 		}
 	case balance.Refuse:
 		if e := c.drop(a.ID); e != nil {
-			e.t.Refuse(a.Pause)
+			e.item.Refuse(a.Pause)
 		}
 	case balance.Fail:
 		if e := c.drop(a.ID); e != nil {
-			e.t.Fail()
+			e.item.Fail()
 		}
 	case balance.Move:
 		if e := c.transactions[a.ID]; e != nil {
-			e.t.Move()
+			e.item.Move()
 		}
 	case balance.Probe:
-		c.branches.Probe(a.Server)
+		c.prober.Probe(a.Server)
 	case balance.SetTimer:
 		c.timers.set(now.Add(a.Delay), func() { c.handle(balance.TimerFired{Token: a.Token}) })
 	case balance.Subscribe:
@@ -153,9 +177,9 @@
 	return e
 }
 
-// known returns the entry of t, or nil if t is over or another took its id.
-func (c *Core) known(t *exchange.Transaction) *entry {
-	if e := c.transactions[t.ID]; e != nil && e.t == t {
+// known returns the entry of an item, or nil if it is over or another took its id.
+func (c *Core) known(item Item) *entry {
+	if e := c.transactions[item.Asked().ID]; e != nil && e.item == item {
 		return e
 	}
 	return nil
@@ -163,67 +187,63 @@
 
 // ---- the caller's side ----
 
-// Submit takes a transaction, which is then owed one final answer.
-func (c *Core) Submit(t *exchange.Transaction) {
+// Submit takes an item, which is then owed one final answer; its attempts are made
+// by b.
+func (c *Core) Submit(item Item, b Branches) {
 	c.post(func() {
-		if c.transactions[t.ID] != nil || !c.classes[t.Class] {
+		r := item.Asked()
+		if c.transactions[r.ID] != nil || !c.classes[r.Class] {
 			// Ids are new for each connection: a second one would mix up two
 			// transactions in the module. A class that the settings don't name
 			// comes from nobody who may be served.
-			c.bad.Warn("transaction rejected: id in use or class unknown", "id", t.ID, "class", t.Class)
-			t.Fail()
+			c.bad.Warn("transaction rejected: id in use or class unknown", "id", r.ID, "class", r.Class)
+			item.Fail()
 			return
 		}
-		e := &entry{t: t}
-		c.transactions[t.ID] = e
-		if t.At != "" {
+		e := &entry{item: item, asked: r, branches: b}
+		c.transactions[r.ID] = e
+		if r.At != "" {
 			// It runs at that next hop already: there is nothing to decide, and
 			// the module hears of it when it is up.
-			e.server, e.attempts = t.At, 1
-			c.branches.Start(t, 0, t.At, t.Deadline)
+			e.server, e.attempts = r.At, 1
+			b.Start(item, 0, r.At, r.Deadline)
 			return
 		}
-		c.handle(c.request(t))
+		c.handle(c.request(r))
 	})
 }
 
-func (c *Core) request(t *exchange.Transaction) balance.Request {
-	return balance.Request{ID: t.ID, Class: t.Class, Key: t.Key, Group: t.Group, Hint: t.Hint,
-		Retry: t.Retry, Returned: t.Returned, Deadline: c.clock.At(t.Deadline)}
+func (c *Core) request(r *Request) balance.Request {
+	return balance.Request{ID: r.ID, Class: r.Class, Key: r.Key, Group: r.Group, Hint: r.Hint,
+		Retry: r.Retry, Returned: r.Returned, Deadline: c.clock.At(r.Deadline)}
 }
 
 // CallerGone is told when a caller has left before its answer, or was turned away.
-func (c *Core) CallerGone(t *exchange.Transaction) {
+func (c *Core) CallerGone(item Item) {
 	c.post(func() {
-		if c.known(t) != nil {
-			c.drop(t.ID)
-			c.handle(balance.ClientGone{ID: t.ID})
+		if e := c.known(item); e != nil {
+			c.drop(e.asked.ID)
+			c.handle(balance.ClientGone{ID: e.asked.ID})
 		}
 	})
 }
 
-// Ended is told when a connection that stood has ended.
-func (c *Core) Ended(t *exchange.Transaction, how exchange.End) {
-	outcome := balance.Cancelled
-	switch how {
-	case exchange.Served:
-		outcome = balance.OK
-	case exchange.Broken, exchange.Silent:
-		outcome = balance.Reset
-	}
+// Ended is told when what stood has ended: OK if it was served to its end, Reset if
+// its next hop broke off or fell silent, else Cancelled.
+func (c *Core) Ended(item Item, outcome balance.Outcome) {
 	c.post(func() {
-		e := c.known(t)
+		e := c.known(item)
 		if e == nil {
 			return
 		}
 		end := func() {
-			c.drop(t.ID)
-			c.handle(balance.AttemptEnded{ID: t.ID, Attempt: e.attempts - 1, Server: e.server,
+			c.drop(e.asked.ID)
+			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: e.attempts - 1, Server: e.server,
 				Outcome: outcome, Final: true, Load: balance.NoLoad})
 		}
 		if !e.open {
-			// The relay runs as soon as the exchange has the leg: a connection
-			// may end before the branch has said that it stood.
+			// A front may have what stands as soon as its next hop says so: it may
+			// end before the branch has said that it stood.
 			e.early = end
 			return
 		}
@@ -232,38 +252,38 @@
 }
 
 // Delayed is told how long a next hop took to answer a caller's line.
-func (c *Core) Delayed(t *exchange.Transaction, delay time.Duration) {
+func (c *Core) Delayed(item Item, delay time.Duration) {
 	c.post(func() {
-		if e := c.known(t); e != nil && c.delays.worthTelling(e.server, delay, time.Now()) {
-			c.handle(balance.DelayNote{ID: t.ID, Server: e.server, Delay: delay})
+		if e := c.known(item); e != nil && c.delays.worthTelling(e.server, delay, time.Now()) {
+			c.handle(balance.DelayNote{ID: e.asked.ID, Server: e.server, Delay: delay})
 		}
 	})
 }
 
 // Loaded is told a connection's load when its next hop reports it, in
 // microseconds of work a second.
-func (c *Core) Loaded(t *exchange.Transaction, load float64) {
+func (c *Core) Loaded(item Item, load float64) {
 	c.post(func() {
-		if e := c.known(t); e != nil {
-			c.handle(balance.LoadNote{ID: t.ID, Server: e.server, Load: load / 1e6})
+		if e := c.known(item); e != nil {
+			c.handle(balance.LoadNote{ID: e.asked.ID, Server: e.server, Load: load / 1e6})
 		}
 	})
 }
 
 // ---- the next hop's side ----
 
-// BranchUp is told when a branch is up and its leg is the exchange's.
-func (c *Core) BranchUp(t *exchange.Transaction, attempt int, server string, latency time.Duration) {
+// BranchUp is told when a branch is up, and what it carries is the front's.
+func (c *Core) BranchUp(item Item, attempt int, server string, latency time.Duration) {
 	c.post(func() {
-		e := c.known(t)
+		e := c.known(item)
 		if e == nil {
 			return
 		}
 		e.open = true
-		if t.At != "" {
-			c.handle(balance.OpenConn{Request: c.request(t), Server: server})
+		if e.asked.At != "" {
+			c.handle(balance.OpenConn{Request: c.request(e.asked), Server: server})
 		} else {
-			c.handle(balance.Started{ID: t.ID, Attempt: attempt, Server: server, Latency: latency})
+			c.handle(balance.Started{ID: e.asked.ID, Attempt: attempt, Server: server, Latency: latency})
 		}
 		if e.early != nil {
 			e.early()
@@ -273,18 +293,18 @@
 
 // BranchEnded is told when a branch has ended without coming up. Its socket is
 // closed by then.
-func (c *Core) BranchEnded(t *exchange.Transaction, attempt int, server string, outcome balance.Outcome,
+func (c *Core) BranchEnded(item Item, attempt int, server string, outcome balance.Outcome,
 	latency time.Duration, load balance.Load) {
 	c.post(func() {
-		if c.known(t) == nil {
-			return
-		}
-		if t.At != "" {
-			c.backHome(t, server, outcome)
-			return
+		e := c.known(item)
+		switch {
+		case e == nil:
+		case e.asked.At != "":
+			c.backHome(e, server, outcome)
+		default:
+			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: attempt, Server: server, Outcome: outcome,
+				Latency: latency, Load: load})
 		}
-		c.handle(balance.AttemptEnded{ID: t.ID, Attempt: attempt, Server: server, Outcome: outcome,
-			Latency: latency, Load: load})
 	})
 }
 
@@ -292,16 +312,16 @@
 // not take it back. There is nothing to decide, and the module never heard of
 // it: it is offered again while that is harmless and there is time, as the node
 // may know its next hop only a moment later, or too many came home at once.
-func (c *Core) backHome(t *exchange.Transaction, server string, outcome balance.Outcome) {
+func (c *Core) backHome(e *entry, server string, outcome balance.Outcome) {
 	next := time.Now().Add(homeAgain)
-	if outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(t.Deadline) {
-		c.drop(t.ID)
-		t.Fail()
+	if outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
+		c.drop(e.asked.ID)
+		e.item.Fail()
 		return
 	}
 	c.timers.set(next, func() {
-		if c.known(t) != nil {
-			c.branches.Start(t, 0, server, t.Deadline)
+		if c.known(e.item) == e {
+			e.branches.Start(e.item, 0, server, e.asked.Deadline)
 		}
 	})
 }
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -60,7 +57,7 @@
 	asked   chan struct{}
 }
 
-func (p *parties) Start(_ *exchange.Transaction, _ int, server string, _ time.Time) {
+func (p *parties) Start(_ Item, _ int, server string, _ time.Time) {
 	p.started <- server
 }
 func (p *parties) Probe(server string) { p.probed <- server }
@@ -79,10 +76,17 @@
 func start(t *testing.T) (*Core, *parties) {
 	t.Helper()
 	p := &parties{make(chan string, 16), make(chan string, 16), make(chan struct{}, 16)}
+	c := startCore(t, p, p)
+	c.Listed(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
+	return c, p
+}
+
+func startCore(t testing.TB, p Prober, r Roster) *Core {
+	t.Helper()
 	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
 		Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
 		Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
-		Limits:  balance.Limits{Probes: true, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, p, p)
+		Limits:  balance.Limits{Probes: true, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, p, r)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,15 +94,28 @@
 	ended := make(chan struct{})
 	go func() { defer close(ended); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	c.Listed(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
-	return c, p
+	return c
+}
+
+// item keeps its final answer.
+type item struct {
+	Request
+	settled sync.Once
+	done    chan struct{}
 }
 
-func submit(c *Core, r exchange.Request) *exchange.Transaction {
-	near, _ := net.Pipe()
+func (x *item) Asked() *Request           { return &x.Request }
+func (x *item) Refuse(time.Duration) bool { return x.Fail() }
+func (x *item) Move()                     {}
+func (x *item) Fail() (first bool) {
+	x.settled.Do(func() { first = true; close(x.done) })
+	return first
+}
+
+func submit(c *Core, p *parties, r Request) *item {
 	r.Class, r.Deadline = "feed", time.Now().Add(patience)
-	x := exchange.New(r, &line.Open{}, line.Front{}, c, leg.New(near))
-	c.Submit(x)
+	x := &item{Request: r, done: make(chan struct{})}
+	c.Submit(x, p)
 	return x
 }
 
@@ -109,7 +126,7 @@
 	wait(t, p.asked) // the module asks for the list
 	load := balance.NoLoad
 	load.X0 = 0.1
-	x := submit(c, exchange.Request{ID: "a"})
+	x := submit(c, p, Request{ID: "a"})
 	first := wait(t, p.probed)
 	c.Probed(first, balance.OK, time.Millisecond, load)
 	if s := wait(t, p.started); s != first {
@@ -122,8 +139,8 @@
 		t.Fatalf("%s was tried again", s)
 	}
 	c.BranchEnded(x, 1, second, balance.Reset, time.Millisecond, balance.NoLoad)
-	wait(t, x.Context().Done())
-	if x.Standing() || len(p.started) > 0 {
+	wait(t, x.done)
+	if len(p.started) > 0 {
 		t.Error("sent again after a reset")
 	}
 }
@@ -131,11 +148,13 @@
 // A second transaction of an id in use is failed, and the first goes on.
 func TestIDInUse(t *testing.T) {
 	c, p := start(t)
-	first := submit(c, exchange.Request{ID: "a"})
+	first := submit(c, p, Request{ID: "a"})
 	wait(t, p.probed)
-	wait(t, submit(c, exchange.Request{ID: "a"}).Context().Done())
-	if first.Context().Err() != nil {
+	wait(t, submit(c, p, Request{ID: "a"}).done)
+	select {
+	case <-first.done:
 		t.Error("the first was answered too")
+	default:
 	}
 }
 
@@ -143,7 +162,7 @@
 // is offered again while that is harmless.
 func TestBackHome(t *testing.T) {
 	c, p := start(t)
-	x := submit(c, exchange.Request{ID: "a", At: "s7"})
+	x := submit(c, p, Request{ID: "a", At: "s7"})
 	for range 2 {
 		if s := wait(t, p.started); s != "s7" {
 			t.Fatalf("started at %s", s)
@@ -152,17 +171,17 @@
 	}
 	wait(t, p.started)
 	c.BranchEnded(x, 0, "s7", balance.Reset, 0, balance.NoLoad)
-	wait(t, x.Context().Done())
+	wait(t, x.done)
 }
 
 // A connection may end before its branch has said that it stood: the module
 // still hears of both in order, and the id is free again.
 func TestEndToldBeforeItsStart(t *testing.T) {
 	c, p := start(t)
-	x := submit(c, exchange.Request{ID: "a", At: "s1"})
+	x := submit(c, p, Request{ID: "a", At: "s1"})
 	wait(t, p.started)
-	c.Ended(x, exchange.Served)
+	c.Ended(x, balance.OK)
 	c.BranchUp(x, 0, "s1", time.Millisecond)
-	submit(c, exchange.Request{ID: "a"})
+	submit(c, p, Request{ID: "a"})
 	wait(t, p.probed)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,17 +8,12 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/decide"
 	"coralrelay/internal/leg"
 )
 
 // Request is what a front tells of a transaction when it starts.
-type Request struct {
-	ID, Class, Key, Group string
-	At                    string // the next hop that already holds it; empty if none
-	Hint                  float64
-	Retry, Returned       bool
-	Deadline              time.Time // the final answer must be out by then
-}
+type Request = decide.Request
 
 // Opening words the first line for a next hop.
 type Opening interface {
@@ -115,6 +110,9 @@
 	return t
 }
 
+// Asked is the request, for the deciding side.
+func (t *Transaction) Asked() *decide.Request { return &t.Request }
+
 // Context ends when no branch is wanted any more: the caller has left, or the
 // final answer was given.
 func (t *Transaction) Context() context.Context { return t.ctx }
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"coralrelay/balance"
+	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
@@ -22,8 +23,8 @@
 // Watcher is told what becomes of branches and probes. A branch's socket is
 // closed, or the exchange's, by then.
 type Watcher interface {
-	BranchUp(t *exchange.Transaction, attempt int, server string, latency time.Duration)
-	BranchEnded(t *exchange.Transaction, attempt int, server string, outcome balance.Outcome,
+	BranchUp(item decide.Item, attempt int, server string, latency time.Duration)
+	BranchEnded(item decide.Item, attempt int, server string, outcome balance.Outcome,
 		latency time.Duration, load balance.Load)
 	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
 }
@@ -147,7 +148,8 @@
 
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
-func (h *Hops) Start(t *exchange.Transaction, attempt int, server string, deadline time.Time) {
+func (h *Hops) Start(item decide.Item, attempt int, server string, deadline time.Time) {
+	t := item.(*exchange.Transaction) // exchange.Decided brings no others here
 	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
 	go func() {
 		begun := time.Now()
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"coralrelay/balance"
+	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
@@ -28,8 +29,8 @@
 
 type watcher chan told
 
-func (w watcher) BranchUp(*exchange.Transaction, int, string, time.Duration) { w <- told{up: true} }
-func (w watcher) BranchEnded(_ *exchange.Transaction, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.Load) {
+func (w watcher) BranchUp(decide.Item, int, string, time.Duration) { w <- told{up: true} }
+func (w watcher) BranchEnded(_ decide.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.Load) {
 	w <- told{outcome: o, load: l}
 }
 func (w watcher) Probed(_ string, o balance.Outcome, _ time.Duration, l balance.Load) {
