Add a UDP front: flows on sockets of their own, placed by the decision module

Status beacons over UDP are to go through the same program. The front gives each flow one next hop that the module chooses, queues its first datagrams in bounded room, guards each send against drains, places flows again when their next hop drains or refuses, and passes replies to the flow's own client. Its calls to the Core go through an outbox, since the Core may be waiting for the front's lock. Not yet switched on by any file.

--- /dev/null
+++ b/internal/udp/udp.go
@@ -0,0 +1,500 @@
+// Package udp is the front for datagrams: those of one flow go to one next hop,
+// which the decision module chooses under the same rules as for everybody. It has
+// the sockets and nothing decided: places in the table, who waits and who goes
+// first are package flow's.
+package udp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/flow"
+	"coralrelay/internal/tally"
+)
+
+const (
+	// batch is how many datagrams are read or written at once.
+	batch = 64
+	// largest is the largest datagram.
+	largest = 65507
+	// usual is the size that is expected, for which buffers are kept; a larger one is
+	// read all the same.
+	usual = 2048
+	// step is how often flows expire, waiting ones are placed and counts settle.
+	step = 20 * time.Millisecond
+	// expiring is how many flows are looked at in a step.
+	expiring = 4096
+)
+
+// Decider places flows; *decide.Core does.
+type Decider interface {
+	Submit(item decide.Item, b decide.Branches)
+	CallerGone(item decide.Item)
+	Ended(item decide.Item, outcome balance.Outcome)
+	BranchUp(item decide.Item, attempt int, server string, latency time.Duration)
+	BranchEnded(item decide.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
+}
+
+// Hops knows where next hops are, and which may be sent to.
+type Hops interface {
+	Address(server string) string // empty if it is not known
+	// MaySend is false once the drain grace is over, with some of it kept back.
+	MaySend(server string, now time.Time) bool
+}
+
+// Options size the front.
+type Options struct {
+	Listen   netip.AddrPort // one address, not all of the machine's: replies come from it
+	Class    string
+	Deadline time.Duration // for a decision; what waits longer is dropped
+	Table    flow.Options
+	Sources  flow.SourceOptions
+	Queue    flow.Bounds // of one flow, while it waits for a decision
+	Room     flow.Room   // for all that wait
+	Again    flow.Pace   // for flows that have lost their next hop
+	Sockets  int         // flows that may be placed at once, as each has a socket
+	Proxy    bool        // a PROXY v2 header before each datagram to next hops
+}
+
+// Counts say what became of datagrams: In = Forwarded + the drops + what waits.
+type Counts struct {
+	In, Forwarded, Replies, Stray               atomic.Int64
+	Full, Limited, Queue, Refused, Unsent, Gone atomic.Int64
+	Opened, Expired, Evicted, Replaced          atomic.Int64
+}
+
+// Dropped is the sum of all drops.
+func (c *Counts) Dropped() int64 {
+	return c.Full.Load() + c.Limited.Load() + c.Queue.Load() + c.Refused.Load() + c.Unsent.Load() + c.Gone.Load()
+}
+
+// Front serves one listener.
+type Front struct {
+	o       Options
+	core    Decider
+	hops    Hops
+	conn    *net.UDPConn
+	packets *ipv4.PacketConn
+	start   time.Time
+	Counts  Counts
+	failed  tally.Tally
+
+	mu      sync.Mutex
+	table   *flow.Table
+	sources *flow.Sources
+	room    flow.Room
+	pace    flow.Pace
+	flows   []place // beside the table's entries
+	placed  int     // flows that have a socket
+	named   uint64
+	wg      sync.WaitGroup
+	closed  bool
+	outbox  []func() // what the Core is to be told, in order
+	news    chan struct{}
+}
+
+// place is what the front keeps of a flow.
+type place struct {
+	client  netip.AddrPort
+	waiting flow.Waiting
+	item    *item // the placement that is asked for or stands, nil if none is
+}
+
+// item is one placement of a flow.
+type item struct {
+	decide.Request
+	front *Front
+	ref   flow.Ref
+	// Under the front's lock:
+	server string
+	conn   *net.UDPConn // set while it stands
+	over   bool
+}
+
+// New listens. Serve has to be called for anything to happen.
+func New(o Options, core Decider, hops Hops) (*Front, error) {
+	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
+		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
+	}
+	if o.Table.Seed == (maphash.Seed{}) {
+		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Listen))
+	if err != nil {
+		return nil, fmt.Errorf("udp: %w", err)
+	}
+	_ = conn.SetReadBuffer(4 << 20) // as much of it as the machine allows
+	return &Front{o: o, core: core, hops: hops, conn: conn, packets: ipv4.NewPacketConn(conn), start: time.Now(),
+		table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, pace: o.Again,
+		flows: make([]place, o.Table.Entries), news: make(chan struct{}, 1)}, nil
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() netip.AddrPort { return f.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Len is how many flows are known and how many have a socket.
+func (f *Front) Len() (known, placed int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known, _ = f.table.Len()
+	return known, f.placed
+}
+
+// Serve forwards until ctx ends; then it lets all flows go and closes its sockets.
+func (f *Front) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = f.conn.Close() })
+	defer stop()
+	over := make(chan struct{})
+	var teller sync.WaitGroup
+	teller.Go(func() { f.tell(over) })
+	defer teller.Wait()
+	defer close(over)
+	f.wg.Go(func() { f.keep(ctx) })
+	err := f.read(ctx)
+	f.mu.Lock()
+	f.closed = true
+	for i := range f.flows {
+		if x := f.flows[i].item; x != nil {
+			f.end(x, balance.Cancelled)
+		}
+	}
+	f.mu.Unlock()
+	f.wg.Wait()
+	return err
+}
+
+// say has the Core told, under the lock and without waiting: the Core may itself be
+// waiting for the lock, to answer a flow.
+func (f *Front) say(news func()) {
+	f.outbox = append(f.outbox, news)
+	select {
+	case f.news <- struct{}{}:
+	default:
+	}
+}
+
+// tell tells the Core, until over is closed and all has been told.
+func (f *Front) tell(over <-chan struct{}) {
+	for ended := false; !ended; {
+		select {
+		case <-f.news:
+		case <-over:
+			ended = true
+		}
+		f.mu.Lock()
+		list := f.outbox
+		f.outbox = nil
+		f.mu.Unlock()
+		for _, news := range list {
+			news()
+		}
+	}
+}
+
+func (f *Front) now() time.Duration { return time.Since(f.start) }
+
+// read takes datagrams in batches.
+func (f *Front) read(ctx context.Context) error {
+	messages := make([]ipv4.Message, batch)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, largest)}
+	}
+	for {
+		n, err := f.packets.ReadBatch(messages, 0)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			f.failed.Warn("udp: read", "err", err)
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		now := time.Now()
+		f.mu.Lock()
+		for i := range messages[:n] {
+			m := &messages[i]
+			if from, ok := m.Addr.(*net.UDPAddr); ok {
+				f.take(from.AddrPort(), m.Buffers[0][:m.N], now)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
+// take is called under the lock for each datagram.
+func (f *Front) take(from netip.AddrPort, d []byte, now time.Time) {
+	f.Counts.In.Add(1)
+	k := flow.Key{Addr: from.Addr().As16(), Port: from.Port()}
+	at := now.Sub(f.start)
+	r, ok := f.table.Lookup(k)
+	if ok {
+		f.table.Touch(r, at)
+	} else {
+		if !f.sources.Allow(k, at) {
+			f.Counts.Limited.Add(1)
+			return
+		}
+		var v flow.Verdict
+		if r, v = f.table.Admit(k, at, func(old flow.Ref) {
+			f.Counts.Evicted.Add(1)
+			f.leave(old)
+		}); v != flow.Admitted {
+			f.Counts.Full.Add(1)
+			return
+		}
+		f.Counts.Opened.Add(1)
+		f.flows[r.Index] = place{client: from}
+		f.ask(r, now)
+	}
+	p := &f.flows[r.Index]
+	if x := p.item; x != nil && x.conn != nil {
+		if f.hops.MaySend(x.server, now) {
+			f.send(p, x, d)
+			return
+		}
+		f.replace(x, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
+	}
+	p.waiting.Put(append([]byte(nil), d...), f.o.Queue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
+}
+
+// send writes one datagram to a flow's next hop, under the lock: a drain that is
+// told meanwhile is seen by the next look at MaySend, before the next write.
+func (f *Front) send(p *place, x *item, d []byte) {
+	if f.o.Proxy {
+		d = append(appendProxy(make([]byte, 0, longestProxy+len(d)), p.client, f.Addr()), d...)
+	}
+	if _, err := x.conn.Write(d); err != nil {
+		f.Counts.Unsent.Add(1)
+		if isRefused(err) {
+			f.replace(x, balance.Reset)
+		}
+		return // too large, or no buffers: that datagram alone is lost
+	}
+	f.Counts.Forwarded.Add(1)
+}
+
+// ask has the module place a flow.
+func (f *Front) ask(r flow.Ref, now time.Time) {
+	p := &f.flows[r.Index]
+	f.named++
+	k := p.client.Addr().String()
+	x := &item{front: f, ref: r, Request: decide.Request{ID: "u" + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
+		Deadline: now.Add(f.o.Deadline)}}
+	p.item = x
+	f.say(func() { f.core.Submit(x, f) })
+}
+
+// replace ends a flow's placement and has it placed again when its turn comes.
+func (f *Front) replace(x *item, outcome balance.Outcome) {
+	f.end(x, outcome)
+	f.Counts.Replaced.Add(1)
+	f.pace.Add(x.ref)
+}
+
+// end ends a placement, whatever its state.
+func (f *Front) end(x *item, outcome balance.Outcome) {
+	if x.over {
+		return
+	}
+	x.over = true
+	if f.flows[x.ref.Index].item == x {
+		f.flows[x.ref.Index].item = nil
+	}
+	if x.conn == nil {
+		f.say(func() { f.core.CallerGone(x) })
+		return
+	}
+	_ = x.conn.Close()
+	x.conn = nil
+	f.placed--
+	f.say(func() { f.core.Ended(x, outcome) })
+}
+
+// leave forgets what the front has of a flow.
+func (f *Front) leave(r flow.Ref) {
+	p := &f.flows[r.Index]
+	p.waiting.Drain(&f.room, func([]byte) { f.Counts.Gone.Add(1) })
+	if p.item != nil {
+		f.end(p.item, balance.OK)
+	}
+}
+
+// keep lets time pass: flows expire, those in line are placed again.
+func (f *Front) keep(ctx context.Context) {
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		f.mu.Lock()
+		f.table.Advance(f.now(), expiring, func(r flow.Ref) {
+			f.Counts.Expired.Add(1)
+			f.leave(r)
+		})
+		for {
+			r, ok, _ := f.pace.Next(f.now())
+			if !ok {
+				break
+			}
+			if f.table.Valid(r) && f.flows[r.Index].item == nil {
+				f.ask(r, now)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
+// Leaving is told when a next hop drains or is gone: its flows go elsewhere, at the
+// pace, and what they send meanwhile waits.
+func (f *Front) Leaving(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.flows {
+		if x := f.flows[i].item; x != nil && x.conn != nil && x.server == server {
+			f.replace(x, balance.Cancelled)
+		}
+	}
+}
+
+// ---- a placement, as the Core sees it ----
+
+// Start gives a flow its socket. Nothing is sent to find out whether the next hop is
+// there: a flow counts as up when it has one, and a refusal ends it later.
+func (f *Front) Start(i decide.Item, attempt int, server string, _ time.Time) {
+	x := i.(*item)
+	f.wg.Go(func() {
+		begun := time.Now()
+		if f.up(x, server, begun) {
+			f.core.BranchUp(x, attempt, server, time.Since(begun))
+		} else {
+			f.core.BranchEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.NoLoad)
+		}
+	})
+}
+
+func (f *Front) up(x *item, server string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x.over || f.closed || f.placed >= f.o.Sockets || !f.hops.MaySend(server, now) {
+		return false
+	}
+	addr, err := netip.ParseAddrPort(f.hops.Address(server))
+	if err != nil {
+		return false
+	}
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		f.failed.Warn("udp: socket", "nexthop", server, "err", err)
+		return false
+	}
+	x.conn, x.server = conn, server
+	f.placed++
+	p := &f.flows[x.ref.Index]
+	p.waiting.Drain(&f.room, func(d []byte) {
+		if x.conn != nil {
+			f.send(p, x, d)
+		} else {
+			f.Counts.Unsent.Add(1) // refused on the way
+		}
+	})
+	if x.conn == nil {
+		return true // it stood, if not for long; Ended has been told
+	}
+	f.wg.Go(func() { f.replies(x, conn) })
+	return true
+}
+
+// replies passes on what a next hop answers, to the flow's own client alone: the
+// socket is that placement's, and ends with it.
+func (f *Front) replies(x *item, conn *net.UDPConn) {
+	client := f.clientOf(x)
+	buffer := make([]byte, usual)
+	for {
+		n, _, flags, _, err := conn.ReadMsgUDPAddrPort(buffer, nil)
+		if err != nil {
+			f.mu.Lock()
+			if isRefused(err) && !x.over {
+				f.replace(x, balance.Reset)
+			}
+			gone := x.over
+			f.mu.Unlock()
+			if gone || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		if flags&truncated != 0 && len(buffer) < largest {
+			buffer = make([]byte, largest) // this one is lost, the next is not
+			f.Counts.Stray.Add(1)
+			continue
+		}
+		f.mu.Lock()
+		stands := !x.over && f.table.Valid(x.ref)
+		if stands {
+			f.table.Touch(x.ref, f.now())
+		}
+		f.mu.Unlock()
+		if !stands {
+			f.Counts.Stray.Add(1)
+			continue
+		}
+		if _, err := f.conn.WriteToUDPAddrPort(buffer[:n], client); err == nil {
+			f.Counts.Replies.Add(1)
+		}
+	}
+}
+
+func (f *Front) clientOf(x *item) netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.flows[x.ref.Index].client
+}
+
+// Asked is the request.
+func (x *item) Asked() *decide.Request { return &x.Request }
+
+// Refuse drops what waits: a datagram's client has no other answer.
+func (x *item) Refuse(time.Duration) bool { return x.Fail() }
+
+// Fail is the same. The flow is placed anew with its next datagram.
+func (x *item) Fail() bool {
+	f := x.front
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x.over || x.conn != nil {
+		return false
+	}
+	x.over = true
+	p := &f.flows[x.ref.Index]
+	if p.item == x {
+		p.item = nil
+		p.waiting.Drain(&f.room, func([]byte) { f.Counts.Refused.Add(1) })
+		f.table.Remove(x.ref)
+	}
+	return true
+}
+
+// Move has the flow placed again, in mid-flow.
+func (x *item) Move() {
+	x.front.mu.Lock()
+	defer x.front.mu.Unlock()
+	if x.conn != nil {
+		x.front.replace(x, balance.Cancelled)
+	}
+}
--- /dev/null
+++ b/internal/udp/udp_test.go
@@ -0,0 +1,339 @@
+package udp
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/flow"
+)
+
+const patience = 10 * time.Second // no test waits this long unless it fails
+
+// chooser stands in for the Core: it places each flow at the next hop that is named,
+// or refuses it, or keeps it waiting.
+type chooser struct {
+	mu     sync.Mutex
+	server string // empty: nobody is placed
+	refuse bool
+	asked  []decide.Item
+	ended  []balance.Outcome
+	placed map[decide.Item]string
+}
+
+func (c *chooser) Submit(x decide.Item, b decide.Branches) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = append(c.asked, x)
+	switch {
+	case c.refuse:
+		x.Refuse(0)
+	case c.server != "":
+		b.Start(x, 0, c.server, x.Asked().Deadline)
+	}
+}
+func (c *chooser) CallerGone(decide.Item) {}
+func (c *chooser) Ended(_ decide.Item, o balance.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = append(c.ended, o)
+}
+func (c *chooser) BranchUp(x decide.Item, _ int, server string, _ time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.placed[x] = server
+}
+func (c *chooser) BranchEnded(x decide.Item, _ int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
+	x.Fail()
+}
+func (c *chooser) set(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.server = server
+}
+
+// hops are next hops that echo what they get under their name.
+type hops struct {
+	mu      sync.Mutex
+	addr    map[string]string
+	leaving map[string]bool
+	got     map[string][]string
+	conns   map[string]*net.UDPConn
+}
+
+func (h *hops) Address(s string) string { h.mu.Lock(); defer h.mu.Unlock(); return h.addr[s] }
+func (h *hops) MaySend(s string, _ time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.leaving[s]
+}
+func (h *hops) count(s string) int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
+
+func (h *hops) add(t *testing.T, name string) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	h.mu.Lock()
+	h.addr[name], h.conns[name] = conn.LocalAddr().String(), conn
+	h.mu.Unlock()
+	go func() {
+		b := make([]byte, largest)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.got[name] = append(h.got[name], string(b[:min(n, 20)]))
+			h.mu.Unlock()
+			_, _ = conn.WriteToUDPAddrPort(append([]byte(name+":"), b[:n]...)[:min(n+len(name)+1, largest)], from)
+		}
+	}()
+}
+
+func front(t *testing.T, change func(*Options)) (*Front, *chooser, *hops) {
+	t.Helper()
+	o := Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Class: "feed", Deadline: time.Second, Sockets: 100,
+		Table: flow.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
+		Queue: flow.Bounds{Count: 3, Bytes: 1 << 17}, Room: flow.Room{Count: 100, Bytes: 1 << 20}, Again: flow.Pace{Rate: 1000, Burst: 10}}
+	if change != nil {
+		change(&o)
+	}
+	c := &chooser{server: "a", placed: map[decide.Item]string{}}
+	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
+	h.add(t, "a")
+	h.add(t, "b")
+	f, err := New(o, c, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if _, placed := f.Len(); placed != 0 {
+			t.Errorf("%d sockets are left", placed)
+		}
+	})
+	return f, c, h
+}
+
+type client struct {
+	t *testing.T
+	*net.UDPConn
+}
+
+func dial(t *testing.T, f *Front) client {
+	t.Helper()
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(f.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return client{t, conn}
+}
+
+func (c client) send(s string) {
+	c.t.Helper()
+	if _, err := c.Write([]byte(s)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c client) expect(want string) {
+	c.t.Helper()
+	b := make([]byte, largest)
+	n, err := c.Read(b)
+	if got := string(b[:n]); err != nil || got != want {
+		c.t.Fatalf("got %.40q, %v, want %.40q", got, err, want)
+	}
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for begun := time.Now(); !ok(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// Datagrams of a flow go to its next hop in order, whatever their size, and replies
+// to its own client.
+func TestForwards(t *testing.T) {
+	f, _, h := front(t, nil)
+	one, two := dial(t, f), dial(t, f)
+	for _, s := range []string{"1", "", "3"} {
+		one.send("one" + s)
+		two.send("two" + s)
+		one.expect("a:one" + s)
+		two.expect("a:two" + s)
+	}
+	one.send("")
+	one.expect("a:")
+	big := string(bytes.Repeat([]byte("x"), 60_000))
+	two.send(big)
+	eventually(t, "the large one arrives", func() bool { return h.count("a") == 8 })
+	if n := f.Counts.In.Load(); n != 8 || f.Counts.Forwarded.Load() != 8 || f.Counts.Opened.Load() != 2 {
+		t.Errorf("%d in, %d forwarded, %d flows", n, f.Counts.Forwarded.Load(), f.Counts.Opened.Load())
+	}
+}
+
+// Nothing reaches a next hop that drains: the flow goes on elsewhere, in mid-flow.
+func TestDrain(t *testing.T) {
+	f, c, h := front(t, nil)
+	x := dial(t, f)
+	x.send("1")
+	x.expect("a:1")
+	c.set("b")
+	h.mu.Lock()
+	h.leaving["a"] = true
+	h.mu.Unlock()
+	x.send("2") // the guard at the send sees it, though nobody has told the front
+	x.expect("b:2")
+	h.mu.Lock()
+	h.leaving["a"], h.leaving["b"] = false, true
+	h.mu.Unlock()
+	c.set("a")
+	f.Leaving("b") // and told, it does not wait for a datagram
+	eventually(t, "the flow is placed again", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.placed) == 3
+	})
+	x.send("3")
+	x.expect("a:3")
+	if h.count("a") != 2 || h.count("b") != 1 {
+		t.Errorf("a got %d, b %d", h.count("a"), h.count("b"))
+	}
+}
+
+// A next hop whose port nobody has refuses: the module hears of a reset, and the
+// flow is placed again.
+func TestRefused(t *testing.T) {
+	f, c, h := front(t, nil)
+	x := dial(t, f)
+	x.send("1")
+	x.expect("a:1")
+	c.set("b")
+	h.conns["a"].Close()
+	for n := 0; ; n++ { // what is sent before the refusal is seen is lost
+		x.send("2")
+		_ = x.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		b := make([]byte, 100)
+		if n, err := x.Read(b); err == nil && string(b[:n]) == "b:2" {
+			break
+		}
+		if n > 200 {
+			t.Fatal("never placed again")
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.ended) != 1 || c.ended[0] != balance.Reset {
+		t.Errorf("told %v", c.ended)
+	}
+}
+
+// The first datagrams wait, the oldest gives way, and a refused flow's are dropped;
+// the counts add up.
+func TestWaits(t *testing.T) {
+	f, c, _ := front(t, nil)
+	c.set("")
+	x := dial(t, f)
+	for _, s := range []string{"1", "2", "3", "4", "5"} {
+		x.send(s)
+	}
+	eventually(t, "all came", func() bool { return f.Counts.In.Load() == 5 })
+	c.mu.Lock()
+	asked := c.asked
+	c.mu.Unlock()
+	if len(asked) != 1 || f.Counts.Queue.Load() != 2 {
+		t.Fatalf("asked %d times, %d dropped", len(asked), f.Counts.Queue.Load())
+	}
+	f.Start(asked[0], 0, "a", time.Now().Add(time.Second))
+	for _, s := range []string{"3", "4", "5"} {
+		x.expect("a:" + s)
+	}
+	c.mu.Lock()
+	c.refuse = true
+	c.mu.Unlock()
+	y := dial(t, f)
+	y.send("1")
+	eventually(t, "it is refused", func() bool { return f.Counts.Refused.Load() == 1 })
+	if in, out := f.Counts.In.Load(), f.Counts.Forwarded.Load()+f.Counts.Dropped(); in != out {
+		t.Errorf("%d in, %d out or dropped", in, out)
+	}
+	if known, placed := f.Len(); known != 1 || placed != 1 {
+		t.Errorf("%d known, %d placed", known, placed)
+	}
+}
+
+// Flows that are silent are forgotten with their sockets; what a next hop still
+// answers reaches nobody.
+func TestExpiry(t *testing.T) {
+	f, _, h := front(t, func(o *Options) { o.Table.Idle = 64 * time.Millisecond })
+	x := dial(t, f)
+	x.send("1")
+	x.expect("a:1")
+	eventually(t, "it expires", func() bool { known, placed := f.Len(); return known == 0 && placed == 0 })
+	x.send("2") // the same client, a moment later: a new flow
+	x.expect("a:2")
+	if f.Counts.Opened.Load() != 2 || h.count("a") != 2 {
+		t.Errorf("%d flows", f.Counts.Opened.Load())
+	}
+}
+
+func TestFullAndLimited(t *testing.T) {
+	f, _, _ := front(t, func(o *Options) {
+		o.Table.Entries, o.Table.Policy = 2, flow.RefuseNew
+		o.Sources = flow.SourceOptions{Slots: 64, Rate: 0.001, Burst: 3}
+	})
+	for range 2 {
+		x := dial(t, f)
+		x.send("1")
+		x.expect("a:1")
+	}
+	dial(t, f).send("1")
+	eventually(t, "the table is full", func() bool { return f.Counts.Full.Load() == 1 })
+	for range 8 {
+		dial(t, f).send("1")
+	}
+	eventually(t, "the source is limited", func() bool { return f.Counts.Limited.Load() > 0 })
+}
+
+func TestListensOnOneAddress(t *testing.T) {
+	if _, err := New(Options{Listen: netip.MustParseAddrPort("0.0.0.0:0")}, nil, nil); err == nil {
+		t.Error("replies would come from anywhere")
+	}
+}
+
+func FuzzProxy(f *testing.F) {
+	four, six := netip.MustParseAddrPort("127.0.0.9:53"), netip.MustParseAddrPort("[::1]:7")
+	f.Add(append(appendProxy(nil, four, four), "hello"...))
+	f.Add(append(appendProxy(nil, six, four), "hello"...))
+	f.Add([]byte(signature))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		src, dst, rest, err := cutProxy(b)
+		if err != nil {
+			return
+		}
+		again, to, rest2, err := cutProxy(append(appendProxy(nil, src, dst), rest...))
+		if err != nil || again.Port() != src.Port() || to.Addr().Unmap() != dst.Addr().Unmap() || !bytes.Equal(rest, rest2) {
+			t.Errorf("%v -> %v, %v", src, again, err)
+		}
+	})
+}
