Switch UDP flows on from the operator's file; a scene sends 100,000 through 10,000 places

The front is linked into the node, off unless udp.listen names an address. The rig's scene drains, kills and restarts servers beside it and checks drains, replies, memory and that all counts add up.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -28,12 +28,15 @@
 	"coralrelay/internal/operator"
 	"coralrelay/internal/roster"
 	"coralrelay/internal/sabotage"
+	"coralrelay/internal/udp"
 )
 
 const (
 	// spareSockets are kept for the listener, discovery, probes and callers
 	// that are given a busy answer.
 	spareSockets = 128
+	// leastSockets are the line path's, whatever is taken for others.
+	leastSockets = 64
 	// probeWait is how long a probe may take: longer than a busy next hop
 	// needs, shorter than the module waits before it asks again.
 	probeWait = 500 * time.Millisecond
@@ -126,6 +129,7 @@
 type fleet struct {
 	hops *nexthop.Hops
 	core *decide.Core
+	udp  *udp.Front // nil where it is off
 }
 
 func (f *fleet) Listed(u roster.Update) {
@@ -140,6 +144,9 @@
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
 	}
 	f.core.Listed(u.List())
+	if f.udp != nil {
+		f.udp.Look()
+	}
 }
 
 // serve runs the node until terminate ends, and then lets it end in good order.
@@ -160,11 +167,18 @@
 	}
 	lists.core = core
 	hops.Watch(core)
+	if lists.udp, err = startUDP(ctx, &parts, c, own.UDP, core, hops); err != nil {
+		return err
+	}
+	sockets := c.Limits.Sockets
+	if lists.udp != nil {
+		sockets = max(sockets-own.UDP.Sockets, leastSockets)
+	}
 	listener, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := caller.New(exchange.Decided{Core: core, Branches: hops}, caller.Limits{Sockets: c.Limits.Sockets - min(spareSockets, c.Limits.Sockets/4),
+	server := caller.New(exchange.Decided{Core: core, Branches: hops}, caller.Limits{Sockets: sockets - min(spareSockets, sockets/4),
 		Pause: pause(c.Settings.Limits)})
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
--- /dev/null
+++ b/cmd/coralrelay/udp.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+
+	"coralrelay/internal/config"
+	"coralrelay/internal/flow"
+	"coralrelay/internal/operator"
+	"coralrelay/internal/udp"
+)
+
+// startUDP starts the front for datagrams, if the operator's file names an address
+// for it; else it returns nil.
+func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operator.UDP, core udp.Decider, hops udp.Hops) (*udp.Front, error) {
+	if o.Listen == "" {
+		return nil, nil
+	}
+	listen, err := netip.ParseAddrPort(o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("udp.listen: %w", err)
+	}
+	class := c.Settings.Classes[0]
+	for _, one := range c.Settings.Classes {
+		if one.Name == o.Class {
+			class = one
+		}
+	}
+	if o.Class != "" && class.Name != o.Class {
+		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", o.Class)
+	}
+	policy := map[string]flow.Policy{"reserve": flow.Reserve, "refuse": flow.RefuseNew, "idle": flow.EvictIdle}[o.Policy]
+	f, err := udp.New(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: o.Sockets, Proxy: o.Proxy,
+		Table: flow.Options{Entries: o.Flows, Idle: o.Idle.Duration, Policy: policy, Share: o.Reserve,
+			Settled: o.Settled, After: o.After.Duration},
+		Sources: flow.SourceOptions{Slots: o.Sources.Slots, Rate: o.Sources.Rate, Burst: o.Sources.Burst},
+		Queue:   flow.Bounds{Count: o.Queue.Flow, Bytes: o.Queue.FlowBytes},
+		Room:    flow.Room{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
+		Again:   flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, core, hops)
+	if err != nil {
+		return nil, fmt.Errorf("udp.listen: %w", err)
+	}
+	parts.Go(func() {
+		if err := f.Serve(ctx); err != nil {
+			slog.Error("udp", "err", err)
+		}
+	})
+	slog.Info("udp on", "listen", f.Addr(), "flows", o.Flows, "sockets", o.Sockets)
+	return f, nil
+}
--- a/cmd/coralrig/main.go
+++ b/cmd/coralrig/main.go
@@ -30,6 +30,7 @@
 
 	Demo   demoCmd   `cmd:"" help:"Start a roster, feed servers, a node and clients, show for 10 s what is placed where, and end."`
 	Resume resumeCmd `cmd:"" help:"Move clients with resume tokens over drains, restarts and kills."`
+	UDP    udpCmd    `cmd:"" name:"udp" help:"Send short flows of datagrams through a small table while servers drain and fall."`
 }
 
 // common is what all scenes have.
@@ -76,6 +77,25 @@
 	return r.Finish(os.Stdout, c.JSON)
 }
 
+type udpCmd struct {
+	common
+	Flows   int `default:"100000" help:"Flows in all."`
+	Table   int `default:"10000" help:"Flows that the node's table holds."`
+	Servers int `default:"8" help:"Feed servers."`
+}
+
+func (c *udpCmd) Run(ctx context.Context, top *cli) error {
+	if c.ListSabotage {
+		return list(rig.UDPSabotages)
+	}
+	r, err := rig.UDP(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Binary: top.Node,
+		Sabotage: c.Sabotage, Progress: terminal()})
+	if err != nil {
+		return err
+	}
+	return r.Finish(os.Stdout, c.JSON)
+}
+
 type demoCmd struct {
 	Seconds int `default:"10" help:"How long."`
 }
--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -25,3 +25,20 @@
 		peers: {} // {n2: "10.0.0.5:7171", n3: "10.0.0.6:7171"}
 	}
 }
+
+// Flows of datagrams: docs/operate/udp.md.
+udp: {
+	listen:  "" // "10.0.0.4:7070": one address of the machine's
+	class:   "" // of the settings' classes; empty for the first
+	flows:   10000
+	idle:    "30s"
+	policy:  "reserve" // for a full table; or "refuse", "idle"
+	reserve: 0.5       // of the table, for settled flows alone
+	settled: 3         // datagrams
+	after:   "1s"      // over at least so long
+	sockets: 256       // flows placed at once; taken from limits.sockets
+	proxy:   false     // a PROXY v2 header before each datagram
+	queue: {flow: 8, flow_bytes: 16384, all: 4096, all_bytes: 4194304}
+	sources: {rate: 100, burst: 200, slots: 65536}
+	again: {rate: 2000, burst: 200}
+}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -136,6 +136,27 @@
 	return p.leaving.IsZero() || now.Before(p.leaving.Add(grace))
 }
 
+// Address is where a next hop is; empty if it is not known.
+func (h *Hops) Address(server string) string {
+	if p := h.get(server); p != nil {
+		return p.address()
+	}
+	return ""
+}
+
+// MaySend tells whether a datagram may still go to a next hop. Of the grace after a
+// drain half is kept back, for what is under way.
+func (h *Hops) MaySend(server string, now time.Time) bool {
+	p := h.get(server)
+	return p != nil && p.mayTake(now, h.limits.Drain/2)
+}
+
+// Leaving tells whether a next hop drains or is gone.
+func (h *Hops) Leaving(server string, now time.Time) bool {
+	p := h.get(server)
+	return p == nil || !p.mayTake(now, 0)
+}
+
 // ---- branches ----
 
 // branch is one attempt of a transaction.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -35,6 +35,45 @@
 type File struct {
 	Log    Log    `json:"log"`
 	Resume Resume `json:"resume"`
+	UDP    UDP    `json:"udp"`
+}
+
+// UDP is forwarding of flows of datagrams.
+type UDP struct {
+	Listen  string   `json:"listen"`  // one address; empty for off
+	Class   string   `json:"class"`   // of the settings' classes; empty for the first
+	Flows   int      `json:"flows"`   // in the table
+	Idle    Duration `json:"idle"`    // a flow silent for so long is forgotten
+	Policy  string   `json:"policy"`  // for a full table: reserve, refuse or idle
+	Reserve float64  `json:"reserve"` // share of the table for settled flows alone
+	Settled int      `json:"settled"` // a flow has settled after so many datagrams
+	After   Duration `json:"after"`   // over at least so long
+	Sockets int      `json:"sockets"` // flows placed at once; taken from limits.sockets
+	Proxy   bool     `json:"proxy"`   // a PROXY v2 header before each datagram
+	Queue   Queue    `json:"queue"`
+	Sources Sources  `json:"sources"`
+	Again   Again    `json:"again"`
+}
+
+// Queue bounds datagrams that wait for a decision.
+type Queue struct {
+	Flow      int `json:"flow"` // datagrams of one flow
+	FlowBytes int `json:"flow_bytes"`
+	All       int `json:"all"` // of all flows together
+	AllBytes  int `json:"all_bytes"`
+}
+
+// Sources bounds new flows of one source.
+type Sources struct {
+	Rate  float64 `json:"rate"`  // a second; 0 for no bound
+	Burst float64 `json:"burst"` // at once
+	Slots int     `json:"slots"` // of the structure that counts them
+}
+
+// Again paces flows that have lost their next hop.
+type Again struct {
+	Rate  float64 `json:"rate"` // a second
+	Burst float64 `json:"burst"`
 }
 
 // Log is how the program logs.
@@ -64,7 +103,10 @@
 // Default is what a node without a file runs with: everything off.
 func Default() File {
 	return File{Log: Log{Level: "info", Format: "text"}, Resume: Resume{Life: Duration{time.Minute},
-		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}}}
+		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}},
+		UDP: UDP{Flows: 10_000, Idle: Duration{30 * time.Second}, Policy: "reserve", Reserve: 0.5, Settled: 3,
+			After: Duration{time.Second}, Sockets: 256, Queue: Queue{8, 16 << 10, 4096, 4 << 20},
+			Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, Again: Again{Rate: 2000, Burst: 200}}}
 }
 
 // Fault is what is wrong with one key.
@@ -97,6 +139,27 @@
 	within("resume.wait", r.Wait, time.Millisecond, 5*time.Second)
 	fault(r.Ledger.Records < 1 || r.Ledger.Records > 100_000_000, "resume.ledger.records", r.Ledger.Records, "1 to 100000000")
 	fault(r.Ledger.Listen != "" && !isAddress(r.Ledger.Listen), "resume.ledger.listen", r.Ledger.Listen, "HOST:PORT")
+	u := &f.UDP
+	fault(u.Listen != "" && !isAddress(u.Listen), "udp.listen", u.Listen, "IP:PORT")
+	oneOf("udp.policy", u.Policy, "reserve", "refuse", "idle")
+	within("udp.idle", u.Idle, 100*time.Millisecond, 24*time.Hour)
+	within("udp.after", u.After, 0, time.Hour)
+	number := func(key string, x, least, most float64) {
+		fault(!(x >= least && x <= most), key, x, fmt.Sprintf("%g to %g", least, most))
+	}
+	number("udp.flows", float64(u.Flows), 1, 1<<26)
+	number("udp.reserve", u.Reserve, 0, 1)
+	number("udp.settled", float64(u.Settled), 1, 1<<20)
+	number("udp.sockets", float64(u.Sockets), 1, 1<<20)
+	number("udp.queue.flow", float64(u.Queue.Flow), 1, 1<<16)
+	number("udp.queue.flow_bytes", float64(u.Queue.FlowBytes), 1, 1<<26)
+	number("udp.queue.all", float64(u.Queue.All), 1, 1<<24)
+	number("udp.queue.all_bytes", float64(u.Queue.AllBytes), 1, 1<<30)
+	number("udp.sources.rate", u.Sources.Rate, 0, 1e9)
+	number("udp.sources.burst", u.Sources.Burst, 1, 1e9)
+	number("udp.sources.slots", float64(u.Sources.Slots), 2, 1<<26)
+	number("udp.again.rate", u.Again.Rate, 1, 1e9)
+	number("udp.again.burst", u.Again.Burst, 1, 1e9)
 	for name, addr := range r.Ledger.Peers {
 		fault(!isAddress(addr), "resume.ledger.peers."+name, addr, "HOST:PORT")
 		fault(name == "" || len(name) > 40 || strings.ContainsAny(name, " \t\r\n"), "resume.ledger.peers."+name, name,
@@ -195,6 +258,7 @@
 func (f *File) Fixed(next *File) (keys []string) {
 	for key, same := range map[string]bool{
 		"log.format": f.Log.Format == next.Log.Format, "resume.enabled": f.Resume.Enabled == next.Resume.Enabled,
+		"udp":           f.UDP == next.UDP,
 		"resume.ledger": reflect.DeepEqual(f.Resume.Ledger, next.Resume.Ledger),
 	} {
 		if !same {
--- a/internal/operator/schema/operator.cue
+++ b/internal/operator/schema/operator.cue
@@ -37,3 +37,44 @@
 		keys: !=""
 	}
 }
+
+udp: {
+	// one address for datagrams; empty for off
+	listen: #Address | *""
+	// of the settings' classes; empty for the first
+	class: string | *""
+	// flows in the table
+	flows: int & >=1 & <=67_108_864 | *10_000
+	// a flow silent for so long is forgotten: 100ms to 24h
+	idle: #Duration | *"30s"
+	// who gives way in a full table: the oldest flow that has not settled, nobody, or the flow silent longest
+	policy: *"reserve" | "refuse" | "idle"
+	// share of the table that settled flows alone may use
+	reserve: number & >=0 & <=1 | *0.5
+	// a flow has settled after so many datagrams
+	settled: int & >=1 & <=1_048_576 | *3
+	// over at least so long: up to 1h
+	after: #Duration | *"1s"
+	// flows placed at once, each with a socket, taken from limits.sockets
+	sockets: int & >=1 & <=1_048_576 | *256
+	// a PROXY v2 header before each datagram to next hops
+	proxy: bool | *false
+	// datagrams that wait for a decision: of one flow, and of all together
+	queue: {
+		flow:       int & >=1 & <=65_536 | *8
+		flow_bytes: int & >=1 & <=67_108_864 | *16_384
+		all:        int & >=1 & <=16_777_216 | *4096
+		all_bytes:  int & >=1 & <=1_073_741_824 | *4_194_304
+	}
+	// new flows of one source: a second, at once, and slots of what counts them
+	sources: {
+		rate:  number & >=0 & <=1e9 | *100
+		burst: number & >=1 & <=1e9 | *200
+		slots: int & >=2 & <=67_108_864 | *65_536
+	}
+	// flows placed again after the loss of their next hop: a second, and at once
+	again: {
+		rate:  number & >=1 & <=1e9 | *2000
+		burst: number & >=1 & <=1e9 | *200
+	}
+}
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -30,6 +31,7 @@
 	Number, Nodes                int
 	Sabotage                     string
 	Own                          *operator.File // nil for none
+	Sockets                      int            // that it may use; 0 for 4096
 }
 
 // Node is one real node, a process of its own.
@@ -64,8 +66,9 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	platform := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":192,"sockets":4096},"settings":%s}`,
-		o.Name, addr, o.Discovery, 0x8c1f30d27a5be964+uint64(o.Number), fmt.Sprintf(settings, o.Nodes, o.Number))
+	platform := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":192,"sockets":%d},"settings":%s}`,
+		o.Name, addr, o.Discovery, 0x8c1f30d27a5be964+uint64(o.Number), cmp.Or(o.Sockets, 4096),
+		fmt.Sprintf(settings, o.Nodes, o.Number))
 	if err := os.WriteFile(filepath.Join(o.Dir, "config.json"), []byte(platform), 0o600); err != nil {
 		return nil, err
 	}
@@ -132,8 +135,26 @@
 	}
 }
 
+// sabotaged builds the node with guards that can be taken out.
+func sabotaged(ctx context.Context, dir string) (binary string, err error) {
+	binary = filepath.Join(dir, "coralrelay-sabotage")
+	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "sabotage", "-o", binary, "coralrelay/cmd/coralrelay").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build with -tags sabotage, from the module's root: %w: %s", err, out)
+	}
+	return binary, nil
+}
+
 // Restart asks the node to end, as a planned restart does, and starts it again.
 func (n *Node) Restart(ctx context.Context) error {
+	if err := n.Terminate(); err != nil {
+		return err
+	}
+	return n.Start(ctx)
+}
+
+// Terminate asks the node to end, as a planned restart does, and waits until it has.
+func (n *Node) Terminate() error {
 	n.mu.Lock()
 	// The front notices a moment later, as the protocol has it.
 	n.gone, n.fell = time.Now().Add(300*time.Millisecond), time.Now()
@@ -146,7 +167,7 @@
 		n.Kill()
 		return fmt.Errorf("node %s did not end within 5 s of SIGTERM", n.Name)
 	}
-	return n.Start(ctx)
+	return nil
 }
 
 // Resident is the node's resident memory in bytes, 0 if it can't be told.
--- a/internal/rig/resume.go
+++ b/internal/rig/resume.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -123,11 +122,11 @@
 		return fmt.Errorf("no sabotage %q", s.Sabotage)
 	} else if ok && strings.Contains(about, "node") || s.Sabotage == "ledger-volatile" {
 		// The guard sits in the node, and only a build of its own lets go of it.
-		binary, sabotage = filepath.Join(dir, "coralrelay-sabotage"), s.Sabotage
-		out, err := exec.CommandContext(ctx, "go", "build", "-tags", "sabotage", "-o", binary, "coralrelay/cmd/coralrelay").CombinedOutput()
-		if err != nil {
-			return fmt.Errorf("build with -tags sabotage, from the module's root: %w: %s", err, out)
+		var err error
+		if binary, err = sabotaged(ctx, dir); err != nil {
+			return err
 		}
+		sabotage = s.Sabotage
 	}
 	s.keys = filepath.Join(dir, "keys")
 	if _, _, err := keyfile.New(s.keys, time.Now().Add(-time.Second)); err != nil {
--- /dev/null
+++ b/internal/rig/udp.go
@@ -0,0 +1,267 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/internal/operator"
+	"coralrelay/internal/standin"
+)
+
+// UDPOptions size the scene of flows of datagrams.
+type UDPOptions struct {
+	Seed                  uint64
+	Flows, Table, Servers int
+	Binary, Sabotage      string
+	Progress              io.Writer
+}
+
+// UDPSabotages are the guards that the scene can switch off.
+var UDPSabotages = map[string]string{
+	"drain":  "the node does not hear that a server drains",
+	"expiry": "the node forgets no flow",
+	"source": "the node does not bound new flows of one source",
+}
+
+// beacons is how many flows are under way at once.
+const beacons = 300
+
+type udpScene struct {
+	UDPOptions
+	*Result
+	roster  *standin.Roster
+	servers []*standin.Server
+	node    *Node
+
+	mu    sync.Mutex
+	at    map[string]string    // flow: the server that had its latest datagram
+	since map[string]time.Time // flow: when that was
+	ill   map[string]time.Time // server: when it last began to drain, fell or came back
+}
+
+// UDP plays the scene: short flows through a table of fixed size, while servers
+// drain, fall, and come back; then one source's flood of new flows.
+func UDP(ctx context.Context, o UDPOptions) (*Result, error) {
+	s := &udpScene{UDPOptions: o, Result: NewResult("udp", o.Seed), roster: standin.NewRoster(),
+		at: map[string]string{}, since: map[string]time.Time{}, ill: map[string]time.Time{}}
+	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
+	defer s.roster.Close()
+	if _, ok := UDPSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
+		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+	}
+	dir, err := os.MkdirTemp("", "coralrig-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary := o.Binary
+	if o.Sabotage != "" {
+		if binary, err = sabotaged(ctx, dir); err != nil {
+			return nil, err
+		}
+	}
+	discovery, err := s.roster.Listen("n0")
+	if err != nil {
+		return nil, err
+	}
+	own := operator.Default()
+	if own.UDP.Listen, err = reserve(); err != nil {
+		return nil, err
+	}
+	own.UDP.Flows, own.UDP.Sockets, own.UDP.Idle.Duration = o.Table, o.Table, time.Second
+	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
+	s.node, err = NewNode(NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
+		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Sockets: o.Table + 2000})
+	if err != nil {
+		return nil, err
+	}
+	for i := range o.Servers {
+		v := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: standin.NewFeed(1, 1, 1),
+			Witness: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram})
+		addrs, err := v.Start([]string{"n0"})
+		if err != nil {
+			return nil, err
+		}
+		defer v.Kill()
+		s.servers = append(s.servers, v)
+		s.roster.Set(v.Name, standin.Active, time.Time{}, addrs)
+	}
+	if err := s.node.Start(ctx); err != nil {
+		return nil, err
+	}
+	defer s.node.Kill()
+	s.play(ctx, own.UDP.Listen)
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	every(ctx, 2*time.Second+own.UDP.Idle.Duration/2) // all are silent, and forgotten
+	return s.Result, s.settle(filepath.Join(dir, "n0", "log"))
+}
+
+func (s *udpScene) play(ctx context.Context, to string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var faults sync.WaitGroup
+	faults.Go(func() { s.faults(ctx) })
+	var next atomic.Int64
+	var flows sync.WaitGroup
+	for i := range beacons {
+		flows.Go(func() {
+			every(ctx, time.Duration(i)*arrivals/beacons)
+			for ctx.Err() == nil {
+				n := next.Add(1)
+				if n > int64(s.Flows) {
+					return
+				}
+				name := fmt.Sprintf("f%d", n)
+				answered, strange := standin.Beacon(ctx, to, name, uint32(n), 3, 15*time.Millisecond)
+				s.Add("answered", float64(answered))
+				s.Add("sent", 3)
+				for _, text := range strange {
+					s.Broken("stray", fmt.Sprintf("%s got %q", name, text))
+				}
+				s.mu.Lock()
+				delete(s.at, name)
+				delete(s.since, name)
+				s.mu.Unlock()
+			}
+		})
+	}
+	var early, late, peak float64 // resident memory: over the third quarter, over the last
+	var earlies, lates int
+	done := make(chan struct{})
+	go func() { flows.Wait(); close(done) }()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(200 * time.Millisecond):
+		}
+		part, size := float64(next.Load())/float64(s.Flows), s.node.Resident()
+		switch {
+		case part > 0.75:
+			late, lates = late+size, lates+1
+		case part > 0.5:
+			early, earlies = early+size, earlies+1
+		}
+		peak = max(peak, size)
+		if s.Progress != nil {
+			fmt.Fprintf(s.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), s.Get("drains"), s.Get("servers killed"), size/1e6)
+		}
+	}
+	s.Set("node MB at most", peak/1e6)
+	if earlies > 0 && lates > 0 {
+		growth := late/float64(lates)/(early/float64(earlies)) - 1
+		s.Set("memory growth in the second half", growth)
+		if growth > 0.1 && s.Flows >= 10*s.Table { // else the table may still be filling
+			s.Broken("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
+		}
+	}
+	cancel()
+	faults.Wait()
+}
+
+// faults has servers drain, fall and come back, two at a time at most.
+func (s *udpScene) faults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.UDPOptions.Seed, 11))
+	for n := 0; every(ctx, 1500*time.Millisecond); n++ {
+		v := s.servers[rng.IntN(len(s.servers))]
+		s.mark(v.Name)
+		if n%3 != 1 {
+			s.Add("drains", 1)
+			s.roster.Set(v.Name, standin.Leaving, time.Time{}, nil)
+			every(ctx, 1200*time.Millisecond)
+			s.mark(v.Name)
+			s.roster.Set(v.Name, standin.Active, time.Time{}, nil)
+			continue
+		}
+		s.Add("servers killed", 1)
+		v.Kill()
+		every(ctx, 300*time.Millisecond)
+		s.roster.Set(v.Name, standin.Left, time.Time{}, nil)
+		every(ctx, 500*time.Millisecond)
+		addrs, err := v.Start([]string{"n0"})
+		if err != nil {
+			s.Broken("restart", err.Error())
+			return
+		}
+		s.mark(v.Name)
+		s.roster.Set(v.Name, standin.Active, time.Now(), addrs)
+	}
+}
+
+func (s *udpScene) mark(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ill[server] = time.Now()
+}
+
+// datagram holds what a server got to the rules.
+func (s *udpScene) datagram(d standin.Datagram) {
+	told := s.roster.Told(d.Node, d.Server)
+	if late := d.At.Sub(told); !told.IsZero() && late > drainGrace+onSockets {
+		s.Broken("drain", fmt.Sprintf("%s got %s %s %v after the node was told", d.Server, d.Flow, d.Seq, late))
+	}
+	s.Add("arrived", 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if was := s.at[d.Flow]; was != "" && was != d.Server {
+		s.Add("moved in mid-flow", 1)
+		if ill := s.ill[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
+			s.Add("moved without a fault", 1)
+		}
+	}
+	s.at[d.Flow], s.since[d.Flow] = d.Server, d.At
+}
+
+// settle reads the node's own counts and holds them to what the sockets saw.
+func (s *udpScene) settle(log string) error {
+	if err := s.node.Terminate(); err != nil {
+		return err
+	}
+	f, err := os.Open(log)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	counts := map[string]float64{}
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if _, text, ok := strings.Cut(lines.Text(), "udp ended"); ok {
+			_ = json.Unmarshal([]byte(strings.TrimSpace(text)), &counts)
+		}
+	}
+	if len(counts) == 0 {
+		return fmt.Errorf("the node told no counts: %s", log)
+	}
+	for name, x := range counts {
+		s.Set("node: "+name, x)
+	}
+	drops := counts["full"] + counts["limited"] + counts["queue"] + counts["refused"] + counts["unsent"] + counts["gone"]
+	if out := counts["forwarded"] + drops + counts["waiting"]; counts["in"] != out {
+		s.Broken("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", counts["in"], out))
+	}
+	if forgotten := counts["expired"] + counts["evicted"] + counts["refused"]; forgotten < 0.95*counts["opened"] {
+		s.Broken("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
+	}
+	s.Set("share answered", s.Get("answered")/max(1, s.Get("sent")))
+	s.Set("share arrived", s.Get("arrived")/max(1, s.Get("sent")))
+	if s.Get("share arrived") < 0.9 {
+		s.Broken("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", s.Get("share arrived")))
+	}
+	s.Least("drains", 1)
+	s.Least("node: expired", 1)
+	if s.Flows >= 100_000 {
+		s.Least("servers killed", 1)
+	}
+	return nil
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -46,6 +46,7 @@
 	// IgnoreEpoch makes it take a position of any numbering for one of its own: a
 	// cheat, for sabotage.
 	IgnoreEpoch bool
+	Datagrams   func(d Datagram) // with it the server takes datagrams too, at the same ports
 }
 
 // Server is a feed server. While it runs it listens at one address for each node.
@@ -64,6 +65,7 @@
 	starts   int
 	conns    map[*stream]struct{}
 	wg       sync.WaitGroup
+	flows    flows
 }
 
 // feedEpoch is the numbering that servers share until they restart.
@@ -93,6 +95,12 @@
 		s.addrs[node] = l.Addr().String()
 		context.AfterFunc(ctx, func() { _ = l.Close() })
 		s.wg.Go(func() { s.accept(ctx, node, l) })
+		if s.Datagrams != nil {
+			if err := s.listenUDP(ctx, node, s.addrs[node]); err != nil {
+				cancel()
+				return nil, err
+			}
+		}
 	}
 	if s.starts++; s.starts > 1 {
 		s.epoch = feedEpoch + uint64(s.starts)<<16 + uint64(time.Now().UnixNano())<<24
@@ -190,7 +198,7 @@
 }
 
 func (s *Server) stats() string {
-	held := s.Held()
+	held := s.Held() + s.flows.count(time.Now())
 	load := float64(held) / float64(max(1, s.Capacity))
 	if forced := s.load.Load(); forced > 0 {
 		load = float64(forced) / 1000
--- /dev/null
+++ b/internal/standin/udp.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Datagram is one as a feed server saw it: FLOW SEQ, and more.
+type Datagram struct {
+	Server, Node, Flow, Seq string
+	At                      time.Time
+}
+
+// flows counts who has sent of late, for the load that is reported.
+type flows struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+	swep time.Time
+}
+
+const lively = 500 * time.Millisecond
+
+func (f *flows) heard(flow string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last == nil {
+		f.last = map[string]time.Time{}
+	}
+	f.last[flow] = now
+}
+
+func (f *flows) count(now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.swep) > lively/10 {
+		f.swep = now
+		for flow, at := range f.last {
+			if now.Sub(at) > lively {
+				delete(f.last, flow)
+			}
+		}
+	}
+	return len(f.last)
+}
+
+// listenUDP takes datagrams and sends each back under the server's name.
+func (s *Server) listenUDP(ctx context.Context, node, addr string) error {
+	at, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", at)
+	if err != nil {
+		return fmt.Errorf("server %s: %w", s.Name, err)
+	}
+	_ = conn.SetReadBuffer(4 << 20)
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s.wg.Go(func() {
+		b := make([]byte, 2048)
+		for {
+			n, from, err := conn.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			now := time.Now()
+			flow, rest, _ := strings.Cut(string(b[:n]), " ")
+			seq, _, _ := strings.Cut(rest, " ")
+			s.flows.heard(flow, now)
+			s.Datagrams(Datagram{s.Name, node, flow, seq, now})
+			_, _ = conn.WriteToUDPAddrPort(b[:n], from)
+		}
+	})
+	return nil
+}
+
+// Beacon is one flow from an address of its own, so that no other flow is ever taken
+// for it: it sends so many datagrams, each when the one before was
+// answered or has waited. It returns how many were answered, and whatever else came.
+func Beacon(ctx context.Context, to, name string, number uint32, datagrams int, every time.Duration) (answered int, strange []string) {
+	own := &net.UDPAddr{IP: net.IPv4(127, 1+byte(number>>16), byte(number>>8), byte(number))}
+	conn, err := (&net.Dialer{LocalAddr: own}).DialContext(ctx, "udp", to)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = conn.Close() }()
+	b := make([]byte, 2048)
+	for seq := range datagrams {
+		text := fmt.Sprintf("%s %d status ok", name, seq)
+		if _, err := conn.Write([]byte(text)); err != nil {
+			continue
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(every))
+		begun := time.Now()
+		for {
+			n, err := conn.Read(b)
+			if err != nil {
+				break
+			}
+			if string(b[:n]) == text {
+				answered++
+				sleep(ctx, every-time.Since(begun))
+				break
+			}
+			if !strings.HasPrefix(string(b[:n]), name+" ") {
+				strange = append(strange, string(b[:n]))
+			}
+		}
+	}
+	return answered, strange
+}
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"log/slog"
 	"net"
 	"net/netip"
 	"strconv"
@@ -21,6 +22,7 @@
 	"coralrelay/balance"
 	"coralrelay/internal/decide"
 	"coralrelay/internal/flow"
+	"coralrelay/internal/sabotage"
 	"coralrelay/internal/tally"
 )
 
@@ -52,6 +54,7 @@
 	Address(server string) string // empty if it is not known
 	// MaySend is false once the drain grace is over, with some of it kept back.
 	MaySend(server string, now time.Time) bool
+	Leaving(server string, now time.Time) bool // it drains, or is gone
 }
 
 // Options size the front.
@@ -110,6 +113,7 @@
 	client  netip.AddrPort
 	waiting flow.Waiting
 	item    *item // the placement that is asked for or stands, nil if none is
+	inLine  bool  // it waits to be placed again
 }
 
 // item is one placement of a flow.
@@ -172,6 +176,11 @@
 	}
 	f.mu.Unlock()
 	f.wg.Wait()
+	c := &f.Counts
+	slog.Info("udp ended", "in", c.In.Load(), "forwarded", c.Forwarded.Load(), "replies", c.Replies.Load(), "stray", c.Stray.Load(),
+		"full", c.Full.Load(), "limited", c.Limited.Load(), "queue", c.Queue.Load(), "refused", c.Refused.Load(),
+		"unsent", c.Unsent.Load(), "gone", c.Gone.Load(), "waiting", f.o.Room.Count-f.room.Count,
+		"opened", c.Opened.Load(), "expired", c.Expired.Load(), "evicted", c.Evicted.Load(), "replaced", c.Replaced.Load())
 	return err
 }
 
@@ -242,7 +251,7 @@
 	if ok {
 		f.table.Touch(r, at)
 	} else {
-		if !f.sources.Allow(k, at) {
+		if !f.sources.Allow(k, at) && !sabotage.On("source") {
 			f.Counts.Limited.Add(1)
 			return
 		}
@@ -266,6 +275,11 @@
 		}
 		f.replace(x, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
 	}
+	if p.item == nil && !p.inLine {
+		p.inLine = true
+		f.pace.Add(r)
+		f.placeAgain(now)
+	}
 	p.waiting.Put(append([]byte(nil), d...), f.o.Queue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
 }
 
@@ -296,11 +310,28 @@
 	f.say(func() { f.core.Submit(x, f) })
 }
 
-// replace ends a flow's placement and has it placed again when its turn comes.
+// replace ends a flow's placement. It is placed again when it next sends and its turn
+// has come: of the flows of a server that is lost, most may have nothing more to say.
 func (f *Front) replace(x *item, outcome balance.Outcome) {
 	f.end(x, outcome)
 	f.Counts.Replaced.Add(1)
-	f.pace.Add(x.ref)
+}
+
+// placeAgain asks for those whose turn it is.
+func (f *Front) placeAgain(now time.Time) {
+	for {
+		r, ok, _ := f.pace.Next(now.Sub(f.start))
+		if !ok {
+			return
+		}
+		if !f.table.Valid(r) {
+			continue
+		}
+		p := &f.flows[r.Index]
+		if p.inLine = false; p.item == nil {
+			f.ask(r, now)
+		}
+	}
 }
 
 // end ends a placement, whatever its state.
@@ -343,30 +374,35 @@
 		}
 		now := time.Now()
 		f.mu.Lock()
-		f.table.Advance(f.now(), expiring, func(r flow.Ref) {
-			f.Counts.Expired.Add(1)
-			f.leave(r)
-		})
-		for {
-			r, ok, _ := f.pace.Next(f.now())
-			if !ok {
-				break
-			}
-			if f.table.Valid(r) && f.flows[r.Index].item == nil {
-				f.ask(r, now)
-			}
+		if !sabotage.On("expiry") {
+			f.table.Advance(f.now(), expiring, func(r flow.Ref) {
+				f.Counts.Expired.Add(1)
+				f.leave(r)
+			})
 		}
+		f.placeAgain(now)
 		f.mu.Unlock()
 	}
 }
 
-// Leaving is told when a next hop drains or is gone: its flows go elsewhere, at the
-// pace, and what they send meanwhile waits.
-func (f *Front) Leaving(server string) {
+// Look is told that the list of next hops has changed: flows whose next hop drains or
+// is gone leave it at once, and what they send next goes elsewhere, at the pace.
+func (f *Front) Look() {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	leaving := map[string]bool{}
 	for i := range f.flows {
-		if x := f.flows[i].item; x != nil && x.conn != nil && x.server == server {
+		x := f.flows[i].item
+		if x == nil || x.conn == nil {
+			continue
+		}
+		gone, known := leaving[x.server]
+		if !known {
+			gone = f.hops.Leaving(x.server, now)
+			leaving[x.server] = gone
+		}
+		if gone {
 			f.replace(x, balance.Cancelled)
 		}
 	}
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -73,7 +73,8 @@
 	defer h.mu.Unlock()
 	return !h.leaving[s]
 }
-func (h *hops) count(s string) int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
+func (h *hops) Leaving(s string, now time.Time) bool { return !h.MaySend(s, now) }
+func (h *hops) count(s string) int                   { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
 
 func (h *hops) add(t *testing.T, name string) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -208,11 +209,11 @@
 	h.leaving["a"], h.leaving["b"] = false, true
 	h.mu.Unlock()
 	c.set("a")
-	f.Leaving("b") // and told, it does not wait for a datagram
-	eventually(t, "the flow is placed again", func() bool {
+	f.Look() // and told, it does not wait for a datagram to let the next hop go
+	eventually(t, "the placement ends", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return len(c.placed) == 3
+		return len(c.ended) == 2
 	})
 	x.send("3")
 	x.expect("a:3")
