Keep steady UDP flows whole beside floods: new flows are placed at a pace, newest first

A flood of flows of one datagram from made-up sources cost a placement each and filled the line before the module. New flows now have a pace of their own; the newest go first, since the oldest have lost their places by the time it is their turn, and who has lost its place takes no turn.

--- a/cmd/coralrig/main.go
+++ b/cmd/coralrig/main.go
@@ -79,16 +79,17 @@
 
 type udpCmd struct {
 	common
-	Flows   int `default:"100000" help:"Flows in all."`
-	Table   int `default:"10000" help:"Flows that the node's table holds."`
-	Servers int `default:"8" help:"Feed servers."`
+	Flows   int  `default:"100000" help:"Flows in all."`
+	Table   int  `default:"10000" help:"Flows that the node's table holds."`
+	Servers int  `default:"8" help:"Feed servers."`
+	Flood   bool `help:"Steady flows beside floods of new ones, in place of many short flows."`
 }
 
 func (c *udpCmd) Run(ctx context.Context, top *cli) error {
 	if c.ListSabotage {
 		return list(rig.UDPSabotages)
 	}
-	r, err := rig.UDP(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Binary: top.Node,
+	r, err := rig.UDP(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Binary: top.Node,
 		Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
--- a/internal/flow/limits_test.go
+++ b/internal/flow/limits_test.go
@@ -89,15 +89,38 @@
 	})
 }
 
+func wanted(r Ref) bool { return r.Gen == 0 }
+
+// The newest go first where they shall, and a line of many that nobody wants any
+// more does not grow.
+func TestPaceNewest(t *testing.T) {
+	p := Pace{Rate: 1, Burst: 2, Newest: true}
+	for i := range 100_000 {
+		p.Add(Ref{Index: int32(i), Gen: uint32(min(1, 99_990-min(99_990, i)))}, wanted) // the last ten are wanted
+	}
+	if p.Len() > 3000 {
+		t.Errorf("%d in line", p.Len())
+	}
+	for want := int32(99_999); want > 99_997; want-- {
+		if r, ok, _ := p.Next(0, wanted); !ok || r.Index != want {
+			t.Errorf("%v, %v, want %d", r, ok, want)
+		}
+	}
+	if _, ok, wait := p.Next(0, wanted); ok || wait <= 0 {
+		t.Error("beyond its burst")
+	}
+}
+
 func TestPace(t *testing.T) {
 	p := Pace{Rate: 100, Burst: 10}
 	for i := range 3000 {
-		p.Add(Ref{Index: int32(i)})
+		p.Add(Ref{Index: int32(i)}, wanted)
+		p.Add(Ref{Index: int32(i), Gen: 1}, wanted) // nobody wants it any more: it takes no turn
 	}
 	next := int32(0)
 	for ms := time.Duration(0); p.Len() > 0; ms++ {
 		for {
-			r, ok, wait := p.Next(ms * time.Millisecond)
+			r, ok, wait := p.Next(ms*time.Millisecond, wanted)
 			if !ok {
 				if wait <= 0 && p.Len() > 0 {
 					t.Fatal("some wait, and nobody is told how long")
--- a/internal/flow/pace.go
+++ b/internal/flow/pace.go
@@ -8,6 +8,8 @@
 type Pace struct {
 	Rate   float64 // a second
 	Burst  float64
+	Newest bool // first: in a flood the oldest lose their places before it is their turn
+	room   int  // of the queue, before those that nobody wants are looked for
 	tokens float64
 	at     time.Duration
 	began  bool
@@ -15,15 +17,27 @@
 	head   int
 }
 
-// Add puts a flow into the line.
-func (p *Pace) Add(r Ref) { p.queue = append(p.queue, r) }
+// Add puts a flow into the line. Those that still no longer wants leave it.
+func (p *Pace) Add(r Ref, still func(Ref) bool) {
+	if len(p.queue) > p.room {
+		kept := p.queue[:0]
+		for _, one := range p.queue[p.head:] {
+			if still(one) {
+				kept = append(kept, one)
+			}
+		}
+		p.queue, p.head, p.room = kept, 0, 2*len(kept)+1024
+	}
+	p.queue = append(p.queue, r)
+}
 
 // Len is how many wait.
 func (p *Pace) Len() int { return len(p.queue) - p.head }
 
 // Next hands over a flow whose turn it is. It is false if none is: wait tells how
-// long until one may be, 0 if nobody waits.
-func (p *Pace) Next(now time.Duration) (r Ref, ok bool, wait time.Duration) {
+// long until one may be, 0 if nobody waits. Flows that still no longer wants take no
+// turn; in a flood most have lost their places by the time they are reached.
+func (p *Pace) Next(now time.Duration, still func(Ref) bool) (r Ref, ok bool, wait time.Duration) {
 	if !p.began {
 		p.began, p.tokens, p.at = true, p.Burst, now
 	}
@@ -31,6 +45,9 @@
 		p.tokens = min(p.Burst, p.tokens+p.Rate*(now-p.at).Seconds())
 		p.at = now
 	}
+	for p.Len() > 0 && !still(p.next()) {
+		p.take()
+	}
 	if p.Len() == 0 {
 		return Ref{}, false, 0
 	}
@@ -38,12 +55,24 @@
 		return Ref{}, false, max(time.Millisecond, time.Duration((1-p.tokens)/p.Rate*float64(time.Second)))
 	}
 	p.tokens--
-	r = p.queue[p.head]
+	return p.take(), true, 0
+}
+
+func (p *Pace) next() Ref {
+	if p.Newest {
+		return p.queue[len(p.queue)-1]
+	}
+	return p.queue[p.head]
+}
+
+func (p *Pace) take() Ref {
+	r := p.next()
+	if p.Newest {
+		p.queue = p.queue[:len(p.queue)-1]
+		return r
+	}
 	if p.head++; p.head == len(p.queue) {
 		p.queue, p.head = p.queue[:0], 0
-	} else if p.head > 1024 && p.head > len(p.queue)/2 {
-		p.queue = append(p.queue[:0], p.queue[p.head:]...)
-		p.head = 0
 	}
-	return r, true, 0
+	return r
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -52,7 +52,8 @@
 	Proxy   bool     `json:"proxy"`   // a PROXY v2 header before each datagram
 	Queue   Queue    `json:"queue"`
 	Sources Sources  `json:"sources"`
-	Again   Again    `json:"again"`
+	New     Pace     `json:"new"`
+	Again   Pace     `json:"again"`
 }
 
 // Queue bounds datagrams that wait for a decision.
@@ -70,8 +71,8 @@
 	Slots int     `json:"slots"` // of the structure that counts them
 }
 
-// Again paces flows that have lost their next hop.
-type Again struct {
+// Pace bounds placements: of new flows, and of those that have lost their next hop.
+type Pace struct {
 	Rate  float64 `json:"rate"` // a second
 	Burst float64 `json:"burst"`
 }
@@ -106,7 +107,7 @@
 		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}},
 		UDP: UDP{Flows: 10_000, Idle: Duration{30 * time.Second}, Policy: "reserve", Reserve: 0.5, Settled: 3,
 			After: Duration{time.Second}, Sockets: 256, Queue: Queue{8, 16 << 10, 4096, 4 << 20},
-			Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, Again: Again{Rate: 2000, Burst: 200}}}
+			Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, New: Pace{Rate: 10_000, Burst: 1000}, Again: Pace{Rate: 2000, Burst: 200}}}
 }
 
 // Fault is what is wrong with one key.
@@ -158,6 +159,8 @@
 	number("udp.sources.rate", u.Sources.Rate, 0, 1e9)
 	number("udp.sources.burst", u.Sources.Burst, 1, 1e9)
 	number("udp.sources.slots", float64(u.Sources.Slots), 2, 1<<26)
+	number("udp.new.rate", u.New.Rate, 1, 1e9)
+	number("udp.new.burst", u.New.Burst, 1, 1e9)
 	number("udp.again.rate", u.Again.Rate, 1, 1e9)
 	number("udp.again.burst", u.Again.Burst, 1, 1e9)
 	for name, addr := range r.Ledger.Peers {
--- a/internal/operator/schema/operator.cue
+++ b/internal/operator/schema/operator.cue
@@ -72,6 +72,11 @@
 		burst: number & >=1 & <=1e9 | *200
 		slots: int & >=2 & <=67_108_864 | *65_536
 	}
+	// new flows placed: a second, and at once
+	new: {
+		rate:  number & >=1 & <=1e9 | *10_000
+		burst: number & >=1 & <=1e9 | *1000
+	}
 	// flows placed again after the loss of their next hop: a second, and at once
 	again: {
 		rate:  number & >=1 & <=1e9 | *2000
--- /dev/null
+++ b/internal/rig/flood.go
@@ -0,0 +1,79 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/internal/operator"
+	"coralrelay/internal/standin"
+)
+
+const (
+	// steady flows send on and on, each steadyEvery.
+	steady      = 2000
+	steadyEvery = 200 * time.Millisecond
+	// phase is how long each part of the scene takes.
+	phase = 6 * time.Second
+	// flooders send as fast as they can.
+	flooders = 2
+)
+
+// flood has steady flows send: by themselves, beside a flood of flows of one datagram
+// from made-up sources, and beside one source that opens flow after flow.
+func (s *udpScene) flood(ctx context.Context, o operator.UDP) {
+	s.Scaled = fmt.Sprintf("%d steady flows in place of 10,000, %d flooding senders on the node's own machine", steady, flooders)
+	ctx, cancel := context.WithCancel(ctx)
+	var sent, came atomic.Int64
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range steady {
+		wg.Go(func() {
+			if !every(ctx, time.Duration(i)*arrivals/steady) {
+				return
+			}
+			standin.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), steadyEvery, &sent, &came)
+		})
+	}
+	share := func(part string) float64 {
+		s0, c0 := sent.Load(), came.Load()
+		every(ctx, phase)
+		x := float64(came.Load()-c0) / max(1, float64(sent.Load()-s0))
+		s.Set("steady answered "+part, x)
+		return x
+	}
+	every(ctx, arrivals+2*o.After.Duration+time.Second)
+	alone := share("alone")
+	spoofing, stop := context.WithCancel(ctx)
+	for i := range flooders {
+		wg.Go(func() {
+			n := standin.Flood(spoofing, o.Listen, "spoofed", uint32(1<<22+i<<20), true)
+			s.Add("flood sent", float64(n))
+		})
+	}
+	beside := share("beside a flood")
+	stop()
+	loud, hush := context.WithCancel(ctx)
+	begun := time.Now()
+	wg.Go(func() {
+		n := standin.Flood(loud, o.Listen, "loud", 1<<22-1, false)
+		s.Add("one source's sent", float64(n))
+	})
+	share("beside one source")
+	hush()
+	took := time.Since(begun).Seconds()
+	s.Set("steady, with against without the flood", beside/max(0.001, alone))
+	if beside < 0.99*alone {
+		s.Broken("flood", fmt.Sprintf("steady flows: %.4f answered beside the flood, %.4f without", beside, alone))
+	}
+	every(ctx, 500*time.Millisecond)
+	// Two slots for each source, and what was in them at first.
+	if most := 2 * (o.Sources.Rate*took + o.Sources.Burst); s.Get("one source's flows that went on") > most {
+		s.Broken("source", fmt.Sprintf("%g flows of one source went on, %g are allowed", s.Get("one source's flows that went on"), most))
+	}
+	s.Least("flood sent", 1000)
+	s.Least("one source's flows that went on", 1)
+}
--- a/internal/rig/udp.go
+++ b/internal/rig/udp.go
@@ -22,6 +22,7 @@
 type UDPOptions struct {
 	Seed                  uint64
 	Flows, Table, Servers int
+	Flood                 bool // steady flows beside floods, in place of short ones
 	Binary, Sabotage      string
 	Progress              io.Writer
 }
@@ -100,7 +101,11 @@
 		return nil, err
 	}
 	defer s.node.Kill()
-	s.play(ctx, own.UDP.Listen)
+	if o.Flood {
+		s.flood(ctx, own.UDP)
+	} else {
+		s.play(ctx, own.UDP.Listen)
+	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -208,6 +213,19 @@
 
 // datagram holds what a server got to the rules.
 func (s *udpScene) datagram(d standin.Datagram) {
+	if strings.HasPrefix(d.Flow, "spoofed") {
+		s.Add("flood arrived", 1)
+		return
+	}
+	if strings.HasPrefix(d.Flow, "loud") {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, known := s.at[d.Flow]; !known {
+			s.at[d.Flow] = d.Server
+			s.Add("one source's flows that went on", 1)
+		}
+		return
+	}
 	told := s.roster.Told(d.Node, d.Server)
 	if late := d.At.Sub(told); !told.IsZero() && late > drainGrace+onSockets {
 		s.Broken("drain", fmt.Sprintf("%s got %s %s %v after the node was told", d.Server, d.Flow, d.Seq, late))
@@ -253,6 +271,9 @@
 	if forgotten := counts["expired"] + counts["evicted"] + counts["refused"]; forgotten < 0.95*counts["opened"] {
 		s.Broken("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
 	}
+	if s.Flood {
+		return nil
+	}
 	s.Set("share answered", s.Get("answered")/max(1, s.Get("sent")))
 	s.Set("share arrived", s.Get("arrived")/max(1, s.Get("sent")))
 	if s.Get("share arrived") < 0.9 {
--- a/internal/standin/udp.go
+++ b/internal/standin/udp.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -81,8 +82,7 @@
 // for it: it sends so many datagrams, each when the one before was
 // answered or has waited. It returns how many were answered, and whatever else came.
 func Beacon(ctx context.Context, to, name string, number uint32, datagrams int, every time.Duration) (answered int, strange []string) {
-	own := &net.UDPAddr{IP: net.IPv4(127, 1+byte(number>>16), byte(number>>8), byte(number))}
-	conn, err := (&net.Dialer{LocalAddr: own}).DialContext(ctx, "udp", to)
+	conn, err := (&net.Dialer{LocalAddr: source(number)}).DialContext(ctx, "udp", to)
 	if err != nil {
 		return 0, nil
 	}
@@ -112,3 +112,61 @@
 	}
 	return answered, strange
 }
+
+// Steady is one flow that sends until ctx ends, and counts what it sent and what was
+// answered.
+func Steady(ctx context.Context, to, name string, number uint32, every time.Duration, sent, came *atomic.Int64) {
+	conn, err := (&net.Dialer{LocalAddr: source(number)}).DialContext(ctx, "udp", to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	b := make([]byte, 256)
+	for seq := 0; ctx.Err() == nil; seq++ {
+		begun := time.Now()
+		text := fmt.Sprintf("%s %d steady", name, seq)
+		if _, err := conn.Write([]byte(text)); err != nil {
+			continue
+		}
+		sent.Add(1)
+		_ = conn.SetReadDeadline(begun.Add(every))
+		for {
+			n, err := conn.Read(b)
+			if err != nil {
+				break
+			}
+			if string(b[:n]) == text {
+				came.Add(1)
+				break
+			}
+		}
+		sleep(ctx, every-time.Since(begun))
+	}
+}
+
+// Flood opens a flow for each datagram, from ever other sources or from one, as fast
+// as it can until ctx ends. It returns how many it sent.
+func Flood(ctx context.Context, to, name string, number uint32, spoof bool) (sent int) {
+	for ; ctx.Err() == nil; sent++ {
+		from := number
+		if spoof {
+			from += uint32(sent) % (1 << 20)
+		}
+		conn, err := (&net.Dialer{LocalAddr: source(from)}).DialContext(ctx, "udp", to)
+		if err != nil {
+			continue
+		}
+		id := sent
+		if !spoof { // a flow is an address and a port, which may come again
+			id = conn.LocalAddr().(*net.UDPAddr).Port
+		}
+		_, _ = fmt.Fprintf(conn, "%s%d 0", name, id)
+		_ = conn.Close()
+	}
+	return sent
+}
+
+// source is one of the loopback addresses, another for each number.
+func source(number uint32) *net.UDPAddr {
+	return &net.UDPAddr{IP: net.IPv4(127, 1+byte(number>>16)%250, byte(number>>8), byte(number))}
+}
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -66,6 +66,7 @@
 	Sources  flow.SourceOptions
 	Queue    flow.Bounds // of one flow, while it waits for a decision
 	Room     flow.Room   // for all that wait
+	New      flow.Pace   // for flows that are new: what a flood may cost the module
 	Again    flow.Pace   // for flows that have lost their next hop
 	Sockets  int         // flows that may be placed at once, as each has a socket
 	Proxy    bool        // a PROXY v2 header before each datagram to next hops
@@ -98,9 +99,10 @@
 	table   *flow.Table
 	sources *flow.Sources
 	room    flow.Room
-	pace    flow.Pace
-	flows   []place // beside the table's entries
-	placed  int     // flows that have a socket
+	fresh   flow.Pace // new flows in line
+	again   flow.Pace // those that were placed before, which go first
+	flows   []place   // beside the table's entries
+	placed  int       // flows that have a socket
 	named   uint64
 	wg      sync.WaitGroup
 	closed  bool
@@ -141,7 +143,7 @@
 	}
 	_ = conn.SetReadBuffer(4 << 20) // as much of it as the machine allows
 	return &Front{o: o, core: core, hops: hops, conn: conn, packets: ipv4.NewPacketConn(conn), start: time.Now(),
-		table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, pace: o.Again,
+		table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
 		flows: make([]place, o.Table.Entries), news: make(chan struct{}, 1)}, nil
 }
 
@@ -264,8 +266,9 @@
 			return
 		}
 		f.Counts.Opened.Add(1)
-		f.flows[r.Index] = place{client: from}
-		f.ask(r, now)
+		f.flows[r.Index] = place{client: from, inLine: true}
+		f.fresh.Add(r, f.wants)
+		f.placeInLine(now)
 	}
 	p := &f.flows[r.Index]
 	if x := p.item; x != nil && x.conn != nil {
@@ -277,8 +280,8 @@
 	}
 	if p.item == nil && !p.inLine {
 		p.inLine = true
-		f.pace.Add(r)
-		f.placeAgain(now)
+		f.again.Add(r, f.wants)
+		f.placeInLine(now)
 	}
 	p.waiting.Put(append([]byte(nil), d...), f.o.Queue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
 }
@@ -317,18 +320,18 @@
 	f.Counts.Replaced.Add(1)
 }
 
-// placeAgain asks for those whose turn it is.
-func (f *Front) placeAgain(now time.Time) {
-	for {
-		r, ok, _ := f.pace.Next(now.Sub(f.start))
-		if !ok {
-			return
-		}
-		if !f.table.Valid(r) {
-			continue
-		}
-		p := &f.flows[r.Index]
-		if p.inLine = false; p.item == nil {
+// wants tells whether a flow in line still has to be placed.
+func (f *Front) wants(r flow.Ref) bool { return f.table.Valid(r) && f.flows[r.Index].item == nil }
+
+// placeInLine asks for those whose turn it is.
+func (f *Front) placeInLine(now time.Time) {
+	for _, line := range []*flow.Pace{&f.again, &f.fresh} {
+		for {
+			r, ok, _ := line.Next(now.Sub(f.start), f.wants)
+			if !ok {
+				break
+			}
+			f.flows[r.Index].inLine = false
 			f.ask(r, now)
 		}
 	}
@@ -380,7 +383,7 @@
 				f.leave(r)
 			})
 		}
-		f.placeAgain(now)
+		f.placeInLine(now)
 		f.mu.Unlock()
 	}
 }
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -104,7 +104,7 @@
 	t.Helper()
 	o := Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Class: "feed", Deadline: time.Second, Sockets: 100,
 		Table: flow.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
-		Queue: flow.Bounds{Count: 3, Bytes: 1 << 17}, Room: flow.Room{Count: 100, Bytes: 1 << 20}, Again: flow.Pace{Rate: 1000, Burst: 10}}
+		Queue: flow.Bounds{Count: 3, Bytes: 1 << 17}, Room: flow.Room{Count: 100, Bytes: 1 << 20}, New: flow.Pace{Rate: 1000, Burst: 10}, Again: flow.Pace{Rate: 1000, Burst: 10}}
 	if change != nil {
 		change(&o)
 	}
