Wait a second for the ledger of a node that was killed a moment ago

Seen: TestKilledBeforeAnswer failed on every run on this machine today, on the program as it was too: "store is held by another process". A killed process lets its files go when the kernel has cleared its memory away, which took 48 to 84 ms in five runs here; the ledger asked for 20 ms (ledger.go Open, store.go open). A node that is killed and started again at once would have served without its ledger and honoured no token that names it.

The ledger waits up to a second for its file.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -27,6 +27,10 @@
 // group is how many presentations are made durable at once, at most.
 const group = 512
 
+// dying is how long a node that was killed may take to let its file go. Its next start
+// would serve without a ledger otherwise.
+const dying = time.Second
+
 // waiting is how many presentations may wait for that; beyond it they are told
 // that the ledger is full.
 const waiting = 2048
@@ -95,7 +99,7 @@
 	// is for pages that wait to be used again, and because bbolt counts the mapped
 	// size, which doubles.
 	s, err := store.Open(filepath.Join(o.Dir, FileName), Schema,
-		store.Options{MaxBytes: 64<<20 + 400*o.Records, NoSync: o.NoSync})
+		store.Options{MaxBytes: 64<<20 + 400*o.Records, NoSync: o.NoSync, Wait: dying})
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
