Remove the facts and events that no decision reads

Ruled out: a use by reflection or by the commands; the build and all tests stand without them. LOAD lines are still told from answers, so a LOAD is no sign of life.

A report with a malformed value is still refused whole.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -130,7 +130,6 @@
 		b.adopt(e)
 	case Started:
 		b.stands(e)
-	case LoadNote: // the server's own report tells more
 	case DelayNote:
 		b.delayed(e)
 	case AttemptEnded:
@@ -143,7 +142,6 @@
 		b.timer(e.Token)
 	case ProbeAnswer:
 		b.probed(e)
-	case PeerMessage: // nothing is shared
 	}
 	out := b.out
 	b.out = nil
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -12,7 +12,7 @@
 	return Settings{
 		Instances: 1,
 		Tick:      ms,
-		Classes:   []Class{{Name: "c", Aim: 400 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms, Worth: 1}},
+		Classes:   []Class{{Name: "c", Aim: 400 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms}},
 		AskWithin: 10 * time.Second,
 		Rules: Rules{AnswerGrace: 5 * ms, DrainGrace: time.Second, ColdShare: 0.2, Ramp: 20 * time.Second,
 			FallMultiple: 3, FallAfter: time.Second},
@@ -48,7 +48,7 @@
 func entries(ids ...string) []ServerEntry {
 	list := make([]ServerEntry, len(ids))
 	for i, id := range ids {
-		list[i] = ServerEntry{ID: id, Size: 1}
+		list[i] = ServerEntry{ID: id}
 	}
 	return list
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -41,7 +41,7 @@
 		servers: map[string]*ServerEntry{}, told: map[string]time.Duration{}}
 	w.d = newBench(t, set)
 	for i := range 6 {
-		w.servers[fmt.Sprint("s", i)] = &ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2), Cell: i % 3, Size: 1}
+		w.servers[fmt.Sprint("s", i)] = &ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2), Cell: i % 3}
 	}
 	w.list(ListFull)
 	return w
--- a/balance/types.go
+++ b/balance/types.go
@@ -16,17 +16,13 @@
 	Instance  int           // this instance's number among its peers, from 0
 	Instances int           // how many balancers there are; at least 1
 	Tick      time.Duration // events come at most this often
-	Zone      string        // where this instance stands
 	Classes   []Class       // request classes; at least one
-	Tenants   []Tenant      // none where traffic is not shared out
 	ListAsked bool          // the server list comes only after Subscribe or FetchList
 	AskWithin time.Duration // an asked list is deemed told after this without a call
 	Rules     Rules
 	Limits    Limits
 	Reports   Reports
 	Conns     Conns
-	ByWork    bool // worth counts by work, not by request
-	Sized     bool // ServerEntry.Size tells servers apart
 }
 
 // Effect says what repeating a request may do.
@@ -55,18 +51,11 @@
 	Aim        time.Duration // set-up wanted within
 	Deadline   time.Duration // clients wait no longer
 	MessageAim time.Duration // a message on an open connection wanted within; 0 if not told
-	Worth      float64
 	Effect     Effect
 	Scope      Scope         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are remembered
 }
 
-// Tenant is a customer with a share of the service.
-type Tenant struct {
-	Name  string
-	Quota float64 // open connections within its share, over all instances; 0 if not told
-}
-
 // Rules are the figures of the four rules.
 type Rules struct {
 	AnswerGrace  time.Duration // a final answer still counts this long after the deadline
@@ -80,9 +69,7 @@
 // Limits are what an instance may do.
 type Limits struct {
 	Probes         bool // Probe is allowed
-	Peers          bool // messages among instances are allowed
 	RetryAfter     bool // clients are told the pause of a Refuse
-	SecondCopies   bool // two attempts of one request may be out at once
 	MaxAttempts    int  // attempts a request; 0 means 1
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
@@ -96,25 +83,19 @@
 
 // Conns holds facts about the connections.
 type Conns struct {
-	PassThrough bool          // packets pass through and may arrive mid-flow
-	Park        time.Duration // how long a server keeps a connection whose packets stopped
-	Groups      bool          // connections of one group share work on a server
+	Groups bool // connections of one group share work on a server
 }
 
 // Load is a server's load report. A field that was not reported is negative.
 type Load struct {
 	X0       float64 // load asked over what the server can do
-	X1       float64 // seconds of work piled up
 	Util     float64 // share of its cores in use
 	Inflight float64 // requests or connections held
-	Queue    float64 // requests waiting
 	Latency  float64 // recent service time, milliseconds
-	QPS      float64 // requests served a second
-	EPS      float64 // errors a second
 }
 
 // NoLoad is a report without any field.
-var NoLoad = Load{X0: -1, X1: -1, Util: -1, Inflight: -1, Queue: -1, Latency: -1, QPS: -1, EPS: -1}
+var NoLoad = Load{X0: -1, Util: -1, Inflight: -1, Latency: -1}
 
 // ServerState is what the server list says of a server.
 type ServerState int
@@ -132,7 +113,6 @@
 	Zone    string
 	Cell    int // servers of one cell share what keys they have seen
 	State   ServerState
-	Size    float64       // compares servers where Settings.Sized
 	Started time.Duration // when its process last started; 0 means long ago
 }
 
@@ -168,7 +148,6 @@
 // ListUpdate brings news of the servers.
 type ListUpdate struct {
 	Kind    ListKind
-	Version int64
 	Entries []ServerEntry
 }
 
@@ -176,12 +155,9 @@
 type Request struct {
 	ID       string
 	Class    string
-	Tenant   string
-	Key      string // what the request is about; empty if not told
 	Group    string // the connection's group; empty if none
 	Hint     float64
 	Returned bool // the client comes again after a break or a move
-	MidFlow  bool // packets of an established connection that another instance held
 	Retry    bool // the client flags it as its own repeat
 	Deadline time.Duration
 }
@@ -201,13 +177,6 @@
 	Latency time.Duration
 }
 
-// LoadNote tells the load of a connection now, in work a second.
-type LoadNote struct {
-	ID     string
-	Server string
-	Load   float64
-}
-
 // DelayNote tells how long a message takes at a server now.
 type DelayNote struct {
 	ID     string
@@ -241,23 +210,15 @@
 	Load    Load
 }
 
-// PeerMessage comes from another instance.
-type PeerMessage struct {
-	From int
-	Data []byte
-}
-
 func (ListUpdate) event()   {}
 func (Request) event()      {}
 func (OpenConn) event()     {}
 func (Started) event()      {}
-func (LoadNote) event()     {}
 func (DelayNote) event()    {}
 func (AttemptEnded) event() {}
 func (ClientGone) event()   {}
 func (TimerFired) event()   {}
 func (ProbeAnswer) event()  {}
-func (PeerMessage) event()  {}
 
 // Action is something that this instance wants done. Actions take effect in
 // their order.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -17,7 +17,6 @@
 func (decider) CallerGone(*exchange.Transaction)             {}
 func (decider) Ended(*exchange.Transaction, exchange.End)    {}
 func (decider) Delayed(*exchange.Transaction, time.Duration) {}
-func (decider) Loaded(*exchange.Transaction, float64)        {}
 
 // Whatever time a caller asks for, it holds its sockets no longer than the
 // protocol has a use for.
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -214,7 +214,7 @@
 }
 
 func (c *Core) request(r *Request) balance.Request {
-	return balance.Request{ID: r.ID, Class: r.Class, Key: r.Key, Group: r.Group, Hint: r.Hint,
+	return balance.Request{ID: r.ID, Class: r.Class, Group: r.Group, Hint: r.Hint,
 		Retry: r.Retry, Returned: r.Returned, Deadline: c.clock.At(r.Deadline)}
 }
 
@@ -260,16 +260,6 @@
 	})
 }
 
-// Loaded is told a connection's load when its next hop reports it, in
-// microseconds of work a second.
-func (c *Core) Loaded(item Item, load float64) {
-	c.post(func() {
-		if e := c.known(item); e != nil {
-			c.handle(balance.LoadNote{ID: e.asked.ID, Server: e.server, Load: load / 1e6})
-		}
-	})
-}
-
 // ---- the next hop's side ----
 
 // BranchUp is told when a branch is up, and what it carries is the front's.
--- a/internal/exchange/decided.go
+++ b/internal/exchange/decided.go
@@ -34,6 +34,3 @@
 
 // Delayed passes on how long an answer took.
 func (d Decided) Delayed(t *Transaction, delay time.Duration) { d.Core.Delayed(t, delay) }
-
-// Loaded passes a load note on.
-func (d Decided) Loaded(t *Transaction, load float64) { d.Core.Loaded(t, load) }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -36,7 +36,7 @@
 	Busy(pause time.Duration) string
 	Failed() string
 	Move() string
-	Notice(line []byte) (Notice, float64)
+	Notice(line []byte) Notice
 }
 
 // Continuity lets a caller that is moved go on where it was. A transaction whose
@@ -70,7 +70,6 @@
 	CallerGone(t *Transaction)                   // while it waited for its answer, or was turned away meanwhile
 	Ended(t *Transaction, how End)               // after UP; both legs are closed
 	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer, or until now
-	Loaded(t *Transaction, load float64)         // a load note passed
 }
 
 // answer is what the deciding side hands to the caller's side.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -42,7 +42,6 @@
 	gone    chan struct{}
 	ended   chan exchange.End
 	delayed chan time.Duration
-	loaded  chan float64
 }
 
 func (w *watcher) CallerGone(*exchange.Transaction)                { close(w.gone) }
@@ -50,7 +49,6 @@
 func (w *watcher) Delayed(_ *exchange.Transaction, d time.Duration) {
 	w.delayed <- d
 }
-func (w *watcher) Loaded(_ *exchange.Transaction, x float64) { w.loaded <- x }
 
 // bench is a transaction between two parties on real sockets.
 type bench struct {
@@ -68,7 +66,7 @@
 	near, caller := pair(t)
 	hopNear, hop := pair(t)
 	w := &watcher{gone: make(chan struct{}), ended: make(chan exchange.End, 1),
-		delayed: make(chan time.Duration, 16), loaded: make(chan float64, 16)}
+		delayed: make(chan time.Duration, 16)}
 	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: leg.New(hopNear), fromNode: bufio.NewReader(caller),
 		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
 	b.t = exchange.New(exchange.Request{ID: "a"}, opening{}, line.Front{}, w, leg.New(near))
@@ -153,9 +151,6 @@
 	say(t, b.hop, "D 7\r\nyes\r\n")
 	b.expect(t, b.fromNode, "LOAD 7\r\n")
 	b.expect(t, b.fromNode, "yes\r\n")
-	if x := wait(t, b.loaded); x != 7 {
-		t.Errorf("load %v", x)
-	}
 	wait(t, b.delayed)
 	b.t.Move()
 	b.expect(t, b.fromNode, "MOVE\r\n")
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -166,9 +166,8 @@
 			}
 			return t.finish(a.hop, how, err)
 		}
-		switch kind, x := t.front.Notice(line); kind {
-		case NoticeLoad:
-			t.watch.Loaded(t, x)
+		switch t.front.Notice(line) {
+		case NoticeLoad: // is no answer
 		case NoticeMove:
 			how = Moved
 			line = t.withTicket(line)
--- a/internal/line/front.go
+++ b/internal/line/front.go
@@ -27,17 +27,17 @@
 func (Front) Move() string { return Move }
 
 // Notice tells what a next hop's line after UP says.
-func (Front) Notice(text []byte) (exchange.Notice, float64) {
+func (Front) Notice(text []byte) exchange.Notice {
 	text = bytes.TrimRight(text, "\r\n")
 	switch {
 	case bytes.HasPrefix(text, []byte("LOAD ")):
-		if x, err := number(string(text[len("LOAD "):])); err == nil {
-			return exchange.NoticeLoad, x
+		if _, err := number(string(text[len("LOAD "):])); err == nil {
+			return exchange.NoticeLoad
 		}
 	case bytes.Equal(text, []byte(Move)):
-		return exchange.NoticeMove, 0
+		return exchange.NoticeMove
 	case bytes.Equal(text, []byte("BYE")), bytes.HasPrefix(text, []byte("BYE ")):
-		return exchange.NoticeBye, 0
+		return exchange.NoticeBye
 	}
-	return exchange.NoticeOther, 0
+	return exchange.NoticeOther
 }
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -220,20 +220,12 @@
 		switch string(name) {
 		case "inflight", "outstanding":
 			l.Inflight = v
-		case "queue", "backlog":
-			l.Queue = v
 		case "util", "utilization":
 			l.Util = v
 		case "latency_ms", "recent_ms":
 			l.Latency = v
-		case "qps", "throughput":
-			l.QPS = v
-		case "eps", "errors_per_s":
-			l.EPS = v
 		case "x0":
 			l.X0 = v
-		case "x1":
-			l.X1 = v
 		}
 	}
 	return l, nil
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -77,7 +77,7 @@
 // outstanding and recent_ms, not inflight and latency_ms) and under the
 // protocol's own in its examples.
 func TestParseStats(t *testing.T) {
-	full := balance.Load{X0: 0.5, X1: 1, Util: 0.25, Inflight: 7, Queue: 2, Latency: 12, QPS: 40, EPS: 0.5}
+	full := balance.Load{X0: 0.5, Util: 0.25, Inflight: 7, Latency: 12}
 	tests := []struct {
 		name, line string
 		want       balance.Load
@@ -127,16 +127,15 @@
 	tests := []struct {
 		line string
 		want exchange.Notice
-		x    float64
 	}{
-		{"LOAD 9407.5\r\n", exchange.NoticeLoad, 9407.5}, {"LOAD much\r\n", exchange.NoticeOther, 0},
-		{"MOVE\r\n", exchange.NoticeMove, 0}, {"BYE\r\n", exchange.NoticeBye, 0},
-		{"BYE inflight=7\r\n", exchange.NoticeBye, 0}, {"BYEBYE\r\n", exchange.NoticeOther, 0},
-		{"price 7\r\n", exchange.NoticeOther, 0},
+		{"LOAD 9407.5\r\n", exchange.NoticeLoad}, {"LOAD much\r\n", exchange.NoticeOther},
+		{"MOVE\r\n", exchange.NoticeMove}, {"BYE\r\n", exchange.NoticeBye},
+		{"BYE inflight=7\r\n", exchange.NoticeBye}, {"BYEBYE\r\n", exchange.NoticeOther},
+		{"price 7\r\n", exchange.NoticeOther},
 	}
 	for _, tt := range tests {
-		if got, x := (Front{}).Notice([]byte(tt.line)); got != tt.want || x != tt.x {
-			t.Errorf("%q: got %d, %v", tt.line, got, x)
+		if got := (Front{}).Notice([]byte(tt.line)); got != tt.want {
+			t.Errorf("%q: got %d, want %d", tt.line, got, tt.want)
 		}
 	}
 }
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -41,7 +41,6 @@
 func (w watcher) CallerGone(*exchange.Transaction)             {}
 func (w watcher) Ended(*exchange.Transaction, exchange.End)    {}
 func (w watcher) Delayed(*exchange.Transaction, time.Duration) {}
-func (w watcher) Loaded(*exchange.Transaction, float64)        {}
 
 func (w watcher) next(t *testing.T) told {
 	t.Helper()
--- a/internal/roster/entry.go
+++ b/internal/roster/entry.go
@@ -27,7 +27,7 @@
 
 // List returns the update as the module takes it.
 func (u Update) List() balance.ListUpdate {
-	l := balance.ListUpdate{Kind: u.Kind, Version: u.Generation}
+	l := balance.ListUpdate{Kind: u.Kind}
 	for _, e := range u.Entries {
 		l.Entries = append(l.Entries, e.ServerEntry)
 	}
@@ -42,13 +42,12 @@
 }
 
 type instance struct {
-	ID        string  `json:"instanceId"`
-	HostPort  string  `json:"hostPort"`
-	Zone      string  `json:"zone"`
-	Cell      int     `json:"cell"`
-	Lifecycle string  `json:"lifecycle"`
-	Weight    float64 `json:"weight"`
-	StartedMs int64   `json:"startedAtMs"`
+	ID        string `json:"instanceId"`
+	HostPort  string `json:"hostPort"`
+	Zone      string `json:"zone"`
+	Cell      int    `json:"cell"`
+	Lifecycle string `json:"lifecycle"`
+	StartedMs int64  `json:"startedAtMs"`
 }
 
 var lifecycles = map[string]balance.ServerState{
@@ -97,5 +96,5 @@
 		return Entry{}, fmt.Errorf("entry %s: hostPort: %w", i.ID, err)
 	}
 	return Entry{Addr: i.HostPort, ServerEntry: balance.ServerEntry{ID: i.ID, Zone: i.Zone, Cell: i.Cell,
-		State: state, Size: i.Weight, Started: time.Duration(i.StartedMs) * time.Millisecond}}, nil
+		State: state, Started: time.Duration(i.StartedMs) * time.Millisecond}}, nil
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -22,9 +22,9 @@
 )
 
 func TestDecode(t *testing.T) {
-	s1 := Entry{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3, Size: 1.5,
+	s1 := Entry{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3,
 		Started: 1796122725 * time.Second}}
-	s2 := Entry{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining, Size: 1}}
+	s2 := Entry{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining}}
 	gone := Entry{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
 	tests := []struct {
 		name, raw string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,15 +21,10 @@
 		Effect    string  `json:"effect"`
 		Group     string  `json:"group"`
 		Window    float64 `json:"window"`
-		Credit    float64 `json:"credit"`
 	} `json:"classes"`
-	CountedBy string `json:"countedBy"`
-	Domain    struct {
+	Domain struct {
 		Groups     bool      `json:"groups"`
 		MessageAim []float64 `json:"messageAim"`
-		Mode       string    `json:"mode"`
-		Park       float64   `json:"park"`
-		Quota      []float64 `json:"tenantQuotaConnections"`
 	} `json:"domain"`
 	Granularity float64 `json:"granularity"`
 	Guarantees  struct {
@@ -45,22 +40,15 @@
 		ConnectTimeout float64 `json:"connectTimeout"`
 		MaxRetryAfter  float64 `json:"maxRetryAfter"`
 		MostTries      int     `json:"mostTries"`
-		Peers          bool    `json:"peers"`
 		Probing        bool    `json:"probing"`
 		RetryAfter     bool    `json:"retryAfter"`
-		SecondCopies   bool    `json:"secondCopies"`
 	} `json:"limits"`
 	NInstances   int    `json:"nInstances"`
 	RegistryMode string `json:"registryMode"`
 	Report       struct {
 		Via string `json:"via"`
 	} `json:"report"`
-	SlotNo  int `json:"slotNo"`
-	Tenants []struct {
-		Name string `json:"name"`
-	} `json:"tenants"`
-	Weights string `json:"weights"`
-	Zone    string `json:"zone"`
+	SlotNo int `json:"slotNo"`
 }
 
 var effects = map[string]balance.Effect{
@@ -79,19 +67,16 @@
 	}
 	g, l := e.Guarantees, e.Limits
 	s := balance.Settings{
-		Instance: e.SlotNo, Instances: e.NInstances, Tick: Seconds(e.Granularity), Zone: e.Zone,
+		Instance: e.SlotNo, Instances: e.NInstances, Tick: Seconds(e.Granularity),
 		ListAsked: e.RegistryMode == "on_request", AskWithin: Seconds(g.AskWithin),
 		Rules: balance.Rules{AnswerGrace: Seconds(g.GraceToAnswer), DrainGrace: Seconds(g.DrainGrace),
 			ColdShare: g.ColdFrom, Ramp: Seconds(g.RampTime), FallMultiple: g.TipMultiple,
 			FallAfter: Seconds(g.TipAfter)},
-		Limits: balance.Limits{Probes: l.Probing, Peers: l.Peers, RetryAfter: l.RetryAfter,
-			SecondCopies: l.SecondCopies, MaxAttempts: l.MostTries, MaxRetryAfter: Seconds(l.MaxRetryAfter),
-			ConnectTimeout: Seconds(l.ConnectTimeout)},
+		Limits: balance.Limits{Probes: l.Probing, RetryAfter: l.RetryAfter, MaxAttempts: l.MostTries,
+			MaxRetryAfter: Seconds(l.MaxRetryAfter), ConnectTimeout: Seconds(l.ConnectTimeout)},
 		Reports: balance.Reports{WithAnswers: e.Report.Via == "answers",
 			ByProbe: e.Report.Via == "answers" || e.Report.Via == "probe"},
-		Conns: balance.Conns{PassThrough: e.Domain.Mode == "pass", Park: Seconds(e.Domain.Park),
-			Groups: e.Domain.Groups},
-		ByWork: e.CountedBy == "work", Sized: e.Weights != "none" && e.Weights != "",
+		Conns: balance.Conns{Groups: e.Domain.Groups},
 	}
 	for i, c := range e.Classes {
 		effect, ok := effects[c.Effect]
@@ -103,19 +88,12 @@
 			return s, fmt.Errorf("env: class %q: unknown group %q", c.Name, c.Group)
 		}
 		class := balance.Class{Name: c.Name, Aim: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
-			Worth: c.Credit, Effect: effect, Scope: scope, Window: Seconds(c.Window)}
+			Effect: effect, Scope: scope, Window: Seconds(c.Window)}
 		if i < len(e.Domain.MessageAim) {
 			class.MessageAim = Seconds(e.Domain.MessageAim[i])
 		}
 		s.Classes = append(s.Classes, class)
 	}
-	for i, t := range e.Tenants {
-		tenant := balance.Tenant{Name: t.Name}
-		if i < len(e.Domain.Quota) {
-			tenant.Quota = e.Domain.Quota[i]
-		}
-		s.Tenants = append(s.Tenants, tenant)
-	}
 	return s, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,7 +15,7 @@
 )
 
 // Delivery is one event of a batch for one instance: a start, a stop or, where
-// neither is set, Event.
+// neither is set, Event; nil if the event is of no use to the module.
 type Delivery struct {
 	Instance int
 	Start    *Start
@@ -67,14 +67,10 @@
 	Table         int                `json:"table"`
 	Nodes         []node             `json:"nodesList"`
 	Mode          string             `json:"mode"`
-	Stamp         int64              `json:"stamp"`
 	Ref           string             `json:"ref"`
 	CameBack      bool               `json:"cameBack"`
-	Realm         any                `json:"realm"`
 	TeamID        string             `json:"teamId"`
-	MidFlow       bool               `json:"midFlow"`
 	Grade         string             `json:"grade"`
-	Entity        string             `json:"entity"`
 	Cost          *float64           `json:"cost"`
 	AgainByClient bool               `json:"againByClient"`
 	Deadline      float64            `json:"deadline"`
@@ -87,8 +83,6 @@
 	Complete      bool               `json:"complete"`
 	Report        map[string]float64 `json:"report"`
 	Ctx           uint64             `json:"ctx"`
-	OriginPeer    int                `json:"originPeer"`
-	Raw           []byte             `json:"raw"`
 }
 
 // node is an entry of a server list.
@@ -97,7 +91,6 @@
 	AZ        string   `json:"az"`
 	Cohort    int      `json:"cohort"`
 	Status    string   `json:"status"`
-	Size      float64  `json:"size"`
 	StartedAt *float64 `json:"startedAt"`
 }
 
@@ -158,7 +151,7 @@
 	case "Destroy":
 		d.Stop = true
 	case "Update":
-		u := balance.ListUpdate{Kind: listKinds[m.Mode], Version: m.Stamp}
+		u := balance.ListUpdate{Kind: listKinds[m.Mode]}
 		if u.Kind != balance.ListFailed {
 			u.Entries = r.tables[m.Table]
 		}
@@ -181,32 +174,25 @@
 	case "StatusBack":
 		d.Event = balance.ProbeAnswer{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
 			Load: load(m.Report)}
-	case "Memo":
-		d.Event = balance.PeerMessage{From: m.OriginPeer, Data: m.Raw}
+	case "Memo": // instances tell each other nothing
 	default:
 		return d, false
 	}
 	return d, true
 }
 
-// note turns a Progress into a LoadNote or a DelayNote. Kinds to come are
-// passed over: they yield a note that changes nothing.
+// note turns a Progress into a DelayNote. Others, such as a connection's load, which
+// its server's own report tells better, are passed over.
 func note(m *message) balance.Event {
-	switch m.Kind {
-	case 1:
-		return balance.LoadNote{ID: m.Ref, Server: m.Server, Load: m.X / 1e6}
-	case 2:
-		return balance.DelayNote{ID: m.Ref, Server: m.Server, Delay: settings.Seconds(m.X / 1e3)}
+	if m.Kind != 2 {
+		return nil
 	}
-	return balance.LoadNote{}
+	return balance.DelayNote{ID: m.Ref, Server: m.Server, Delay: settings.Seconds(m.X / 1e3)}
 }
 
 func request(m *message) balance.Request {
-	q := balance.Request{ID: m.Ref, Class: m.Grade, Key: m.Entity, Group: m.TeamID, Returned: m.CameBack,
-		MidFlow: m.MidFlow, Retry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
-	if s, ok := m.Realm.(string); ok {
-		q.Tenant = s
-	}
+	q := balance.Request{ID: m.Ref, Class: m.Grade, Group: m.TeamID, Returned: m.CameBack,
+		Retry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
 	if m.Cost != nil {
 		q.Hint = *m.Cost
 	}
@@ -223,7 +209,7 @@
 func entries(nodes []node) []balance.ServerEntry {
 	list := make([]balance.ServerEntry, len(nodes))
 	for i, n := range nodes {
-		e := balance.ServerEntry{ID: n.Server, Zone: n.AZ, Cell: n.Cohort, Size: n.Size}
+		e := balance.ServerEntry{ID: n.Server, Zone: n.AZ, Cell: n.Cohort}
 		switch n.Status {
 		case "DRAINING":
 			e.State = balance.Draining
@@ -244,20 +230,12 @@
 		switch name {
 		case "x0":
 			l.X0 = v
-		case "x1":
-			l.X1 = v
 		case "utilization":
 			l.Util = v
 		case "outstanding":
 			l.Inflight = v
-		case "backlog":
-			l.Queue = v
 		case "recent_ms":
 			l.Latency = v
-		case "throughput":
-			l.QPS = v
-		case "errors_per_s":
-			l.EPS = v
 		}
 	}
 	return l
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -46,15 +46,15 @@
 }
 
 func TestEvents(t *testing.T) {
-	all := balance.Load{X0: 0.5, X1: 1, Util: 0.25, Inflight: 7, Queue: 2, Latency: 12, QPS: 40, EPS: 0.5}
+	all := balance.Load{X0: 0.5, Util: 0.25, Inflight: 7, Latency: 12}
 	tests := []struct {
 		name, line string
 		want       balance.Event
 	}{
 		{"request", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":true,"realm":"north","teamId":"p:g","midFlow":true,` +
 			`"grade":"chat","entity":"k:z","cost":0.25,"againByClient":true,"deadline":3.75}`,
-			balance.Request{ID: "c:one", Class: "chat", Tenant: "north", Key: "k:z", Group: "p:g", Hint: 0.25,
-				Returned: true, MidFlow: true, Retry: true, Deadline: 3750 * ms}},
+			balance.Request{ID: "c:one", Class: "chat", Group: "p:g", Hint: 0.25,
+				Returned: true, Retry: true, Deadline: 3750 * ms}},
 		{"request with nulls", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":false,"realm":null,"teamId":null,` +
 			`"midFlow":false,"grade":"chat","entity":null,"cost":null,"againByClient":false,"deadline":3.75,"novel":[1]}`,
 			balance.Request{ID: "c:one", Class: "chat", Deadline: 3750 * ms}},
@@ -65,10 +65,10 @@
 		{"started", `{"cmd":"Opened","who":2,"ref":"c:one","hop":1,"server":"s.a","lag":0.009}`,
 			balance.Started{ID: "c:one", Attempt: 1, Server: "s.a", Latency: 9 * ms}},
 		{"load note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":1,"x":250000}`,
-			balance.LoadNote{ID: "c:one", Server: "s.a", Load: 0.25}},
+			nil},
 		{"delay note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":2,"x":31.5}`,
 			balance.DelayNote{ID: "c:one", Server: "s.a", Delay: 31500 * time.Microsecond}},
-		{"note of a kind to come", `{"cmd":"Progress","who":2,"ref":"c:one","kind":9,"x":1}`, balance.LoadNote{}},
+		{"note of a kind to come", `{"cmd":"Progress","who":2,"ref":"c:one","kind":9,"x":1}`, nil},
 		{"attempt ended", `{"cmd":"Completed","who":2,"ref":"c:one","hop":1,"server":"s.a","rc":4,"lag":0.25,` +
 			`"complete":false,"report":null}`,
 			balance.AttemptEnded{ID: "c:one", Attempt: 1, Server: "s.a", Outcome: balance.ConnectFailed,
@@ -85,9 +85,9 @@
 			`"utilization":0.25,"outstanding":7,"backlog":2,"recent_ms":12,"throughput":40,"errors_per_s":0.5,"mood":3}}`,
 			balance.ProbeAnswer{Server: "s.a", Outcome: balance.OK, Latency: 1400 * time.Microsecond, Load: all}},
 		{"peer", `{"cmd":"Memo","who":2,"originPeer":5,"raw":"aGkgNw=="}`,
-			balance.PeerMessage{From: 5, Data: []byte("hi 7")}},
+			nil},
 		{"list failed", `{"cmd":"Update","who":2,"mode":"X","stamp":4,"table":null}`,
-			balance.ListUpdate{Kind: balance.ListFailed, Version: 4}},
+			balance.ListUpdate{Kind: balance.ListFailed}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -122,11 +122,11 @@
 		t.Fatal(all, err)
 	}
 	want := []balance.Event{
-		balance.ListUpdate{Kind: balance.ListFull, Version: 41, Entries: []balance.ServerEntry{
-			{ID: "s.a", Zone: "north", Cell: 3, Size: 1.5, Started: 6500 * ms},
-			{ID: "s.b", Zone: "south", State: balance.Draining, Size: 1}}},
-		balance.ListUpdate{Kind: balance.ListDelta, Version: 42, Entries: []balance.ServerEntry{
-			{ID: "s.c", Zone: "north", State: balance.Gone, Size: 1}}},
+		balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{
+			{ID: "s.a", Zone: "north", Cell: 3, Started: 6500 * ms},
+			{ID: "s.b", Zone: "south", State: balance.Draining}}},
+		balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{
+			{ID: "s.c", Zone: "north", State: balance.Gone}}},
 	}
 	for i, d := range all[0].Deliveries {
 		if !reflect.DeepEqual(d.Event, want[i]) {
@@ -143,17 +143,16 @@
 		`"rampTime":23,"tipAfter":2,"tipMultiple":4},"limits":{"connectTimeout":0.25,"maxRetryAfter":1.5,"mostTries":6,`+
 		`"peers":true,"probing":true,"retryAfter":true,"secondCopies":false},"registryMode":"on_request",`+
 		`"report":{"fields":["x0"],"via":"answers"},"tenants":[{"name":"north"}],"weights":"rough","zone":"north","new":1}}`)
-	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * ms, Zone: "north", ListAsked: true,
-		AskWithin: 10 * time.Second, ByWork: true, Sized: true,
-		Classes: []balance.Class{{Name: "chat", Aim: 800 * ms, Deadline: 3200 * ms, MessageAim: 60 * ms, Worth: 2,
+	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * ms, ListAsked: true,
+		AskWithin: 10 * time.Second,
+		Classes: []balance.Class{{Name: "chat", Aim: 800 * ms, Deadline: 3200 * ms, MessageAim: 60 * ms,
 			Effect: balance.Keyed, Scope: balance.ScopeZone, Window: 5 * time.Second}},
-		Tenants: []balance.Tenant{{Name: "north", Quota: 12.5}},
 		Rules: balance.Rules{AnswerGrace: 8 * ms, DrainGrace: 2 * time.Second, ColdShare: 0.12, Ramp: 23 * time.Second,
 			FallMultiple: 4, FallAfter: 2 * time.Second},
-		Limits: balance.Limits{Probes: true, Peers: true, RetryAfter: true, MaxAttempts: 6,
+		Limits: balance.Limits{Probes: true, RetryAfter: true, MaxAttempts: 6,
 			MaxRetryAfter: 1500 * ms, ConnectTimeout: 250 * ms},
 		Reports: balance.Reports{WithAnswers: true, ByProbe: true},
-		Conns:   balance.Conns{PassThrough: true, Park: 4 * time.Second, Groups: true}}
+		Conns:   balance.Conns{Groups: true}}
 	if d.Start == nil || d.Start.Err != nil || d.Start.Seed != 77 || !reflect.DeepEqual(d.Start.Settings, want) {
 		t.Errorf("got %+v\nwant %+v", d.Start, want)
 	}
