Remove the growth of what is held from the load of a server

Every reported load was raised by how much more this node held than 2 s before, up to twice.

With it go the books of what is held, which one client's hint of 1e300 emptied for good, and the test of the mechanism itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,9 +36,6 @@
 	// fewConns is how many connections a report must count before the load of one of
 	// them is told from it: a nearly empty server's share of noise is large.
 	fewConns = 4.0
-	// behind is how far back the load held is compared with: reports are that
-	// old when it matters.
-	behind = 2 * settle
 	// fullLoad is the load at which one more connection may harm all of a server's:
 	// served well up to its capacity, it serves nobody in time beyond, and loads
 	// change after placement. Drawing ends in a wait rather than there.
@@ -201,7 +198,6 @@
 	r.attempts = 1
 	if s := b.servers[e.Server]; s != nil {
 		b.attach(r, s)
-		b.heldBefore += r.load
 		s.lookAt = b.now + lookAfter
 	} else {
 		r.phase = opened
@@ -394,7 +390,7 @@
 	if s.load < 0 {
 		return -1
 	}
-	load := s.load*b.growth() + s.placed.left(b.now)
+	load := s.load + s.placed.left(b.now)
 	if load < b.usual {
 		// A reading below the usual is partly chance, and the least of d draws
 		// is the most so: in a full fleet it would always seem to have room.
@@ -403,23 +399,6 @@
 	return load
 }
 
-// growth is by how much the fleet has probably grown fuller than its reports
-// tell. They are old, in trouble by seconds; but what this instance holds is a
-// fair sample of what all hold, and it knows that without delay.
-func (b *Balancer) growth() float64 {
-	b.followHeld()
-	if b.heldBefore <= 0 {
-		return 1
-	}
-	return min(max(b.held/b.heldBefore, 1), 2)
-}
-
-// followHeld brings the trailing mean of the load held up to date.
-func (b *Balancer) followHeld() {
-	b.heldBefore += (b.held - b.heldBefore) * (1 - decay(b.now-b.heldAt, behind))
-	b.heldAt = b.now
-}
-
 // level cuts a load into whole levels. The unit is half of the fleet's usual
 // load, within bounds, so that levels 0 and 1 mean not above the usual.
 func (b *Balancer) level(load float64) int {
@@ -783,7 +762,6 @@
 
 func (b *Balancer) houseKeep() {
 	b.pump()
-	b.followHeld()
 	if b.now < b.houseAt {
 		return
 	}
--- a/balance/decisions_test.go
+++ b/balance/decisions_test.go
@@ -58,24 +58,9 @@
 	}
 }
 
-// Under late reports a burst shows in the own book first.
-func TestGrowthShowsBeforeReports(t *testing.T) {
-	d := newBench(t, settings(), "a")
-	for i := range 20 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
-	}
-	d.run(d.now + 10*time.Second)
-	d.answer("a", 0.5)
-	before := d.b.loadOf(d.b.servers["a"])
-	d.b.held *= 1.5
-	if after := d.b.loadOf(d.b.servers["a"]); after < before*1.4 {
-		t.Errorf("load %.2f, then %.2f with half as many connections more", before, after)
-	}
-}
-
-// An instance that has just started holds nothing, and a wave that comes again
-// is no growth of the fleet: taken for one, it once made servers at half of their
-// load look full, and the wave was held until its time was up.
+// An instance that has just started holds nothing, and a wave that comes again must
+// not make servers at half of their load look full: it once was held until its time
+// was up.
 func TestWaveAfterARestart(t *testing.T) {
 	d := newBench(t, settings(), "a", "b", "c", "d")
 	l := NoLoad
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,10 +31,6 @@
 	open     int // connections that stand
 	houseAt  time.Duration
 
-	held       float64 // load of the connections held, by hint or else by number
-	heldBefore float64 // its trailing mean
-	heldAt     time.Duration
-
 	queue    []*request // wait for a turn to draw
 	busy     int        // draw or are being set up
 	window   float64    // as many may at once
@@ -118,7 +114,6 @@
 	ran      *server // where an attempt may have run
 	ranAt    time.Duration
 	moving   bool
-	load     float64       // its hint, or 1
 	since    time.Duration // when its connection stood
 }
 
@@ -148,10 +143,7 @@
 		class = &c
 	}
 	b.seq++
-	r := &request{Request: q, seq: b.seq, class: class, load: 1}
-	if q.Hint > 0 {
-		r.load = q.Hint
-	}
+	r := &request{Request: q, seq: b.seq, class: class}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
 	return r
 }
@@ -161,10 +153,6 @@
 	// Timers of the time before are void: one that was still to come once
 	// moved the connection it had helped to place.
 	b.enter(r, opened)
-	b.held += r.load
-	if r.Returned { // it was held before, here or elsewhere: the fleet has not grown
-		b.heldBefore += r.load
-	}
 	r.since = b.now
 	r.at, r.place, r.wake = s, len(s.conns), never
 	s.conns = append(s.conns, r)
@@ -191,7 +179,6 @@
 	s.conns[last] = nil
 	s.conns = s.conns[:last]
 	b.open--
-	b.held -= r.load
 	if g := b.groups[r.Group]; g != nil {
 		if g.size--; g.size == 0 {
 			delete(b.groups, r.Group)
