Let callers' transactions go to the Core directly

exchange.Decided passed every call on to decide.Core under another name and turned the way a connection ended into an outcome. The Core now is what a transaction is watched by; exchange says the outcome itself. caller is given the branches to bring along, as any front does.

Nothing changes in what is told, or when.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -22,7 +22,6 @@
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/operator"
@@ -178,7 +177,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	server := caller.New(exchange.Decided{Core: core, Branches: hops}, caller.Limits{Sockets: sockets - min(spareSockets, sockets/4),
+	server := caller.New(core, hops, caller.Limits{Sockets: sockets - min(spareSockets, sockets/4),
 		Pause: pause(c.Settings.Limits)})
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
@@ -35,10 +36,10 @@
 	linger = 250 * time.Millisecond
 )
 
-// Decider takes transactions; each is then owed one final answer.
+// Decider takes transactions; each is then owed one final answer. *decide.Core does.
 type Decider interface {
 	exchange.Watcher
-	Submit(t *exchange.Transaction)
+	Submit(item decide.Item, b decide.Branches)
 }
 
 // Continuities gives a caller that asks for it what lets it go on where it was
@@ -57,10 +58,11 @@
 type Server struct {
 	Continuities Continuities // nil where it is not switched on; set before Serve
 
-	decider Decider
-	limits  Limits
-	bad     tally.Tally
-	failed  tally.Tally
+	decider  Decider
+	branches decide.Branches // to next hops of the line protocol
+	limits   Limits
+	bad      tally.Tally
+	failed   tally.Tally
 
 	mu       sync.Mutex
 	draining bool
@@ -71,8 +73,8 @@
 }
 
 // New returns a Server that keeps to the limits.
-func New(d Decider, l Limits) *Server {
-	return &Server{decider: d, limits: l, running: map[*exchange.Transaction]struct{}{},
+func New(d Decider, b decide.Branches, l Limits) *Server {
+	return &Server{decider: d, branches: b, limits: l, running: map[*exchange.Transaction]struct{}{},
 		legs: map[net.Conn]struct{}{}}
 }
 
@@ -138,7 +140,7 @@
 	admitted := s.admit(t, place)
 	_ = l.SetReadDeadline(time.Time{}) // it can't be told to make room any more
 	if admitted {
-		s.decider.Submit(t)
+		s.decider.Submit(t, s.branches)
 	} else {
 		t.Refuse(s.limits.Pause)
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -6,17 +6,22 @@
 	"testing"
 	"time"
 
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
 )
 
 // decider keeps what is submitted, and refuses it.
 type decider chan *exchange.Transaction
 
-func (d decider) Submit(t *exchange.Transaction) { d <- t; t.Refuse(0) }
+func (d decider) Submit(item decide.Item, _ decide.Branches) {
+	d <- item.(*exchange.Transaction)
+	item.Refuse(0)
+}
 
-func (decider) CallerGone(*exchange.Transaction)             {}
-func (decider) Ended(*exchange.Transaction, exchange.End)    {}
-func (decider) Delayed(*exchange.Transaction, time.Duration) {}
+func (decider) CallerGone(decide.Item)             {}
+func (decider) Ended(decide.Item, balance.Outcome) {}
+func (decider) Delayed(decide.Item, time.Duration) {}
 
 // Whatever time a caller asks for, it holds its sockets no longer than the
 // protocol has a use for.
@@ -26,7 +31,7 @@
 		t.Fatal(err)
 	}
 	d := make(decider, 1)
-	s := New(d, Limits{Sockets: 16})
+	s := New(d, nil, Limits{Sockets: 16})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	for wait, most := range map[string]time.Duration{"1800": 1800 * time.Millisecond, "4294967": longestWait} {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"coralrelay/balance"
 	"coralrelay/internal/decide"
 	"coralrelay/internal/leg"
 )
@@ -64,12 +65,23 @@
 	CallerLeft            // the caller ended it
 )
 
-// Watcher is told what becomes of a transaction. Its methods must not wait for
-// the transaction.
+// outcome is what the module is told of it.
+func (e End) outcome() balance.Outcome {
+	switch e {
+	case Served:
+		return balance.OK
+	case Broken, Silent:
+		return balance.Reset
+	}
+	return balance.Cancelled
+}
+
+// Watcher is told what becomes of a transaction, as decide.Core has it. Its methods
+// must not wait for the transaction.
 type Watcher interface {
-	CallerGone(t *Transaction)                   // while it waited for its answer, or was turned away meanwhile
-	Ended(t *Transaction, how End)               // after UP; both legs are closed
-	Delayed(t *Transaction, delay time.Duration) // from a caller's line to the next hop's answer, or until now
+	CallerGone(item decide.Item)                     // while it waited for its answer, or was turned away meanwhile
+	Ended(item decide.Item, outcome balance.Outcome) // after UP; both legs are closed
+	Delayed(item decide.Item, delay time.Duration)   // from a caller's line to the next hop's answer, or until now
 }
 
 // answer is what the deciding side hands to the caller's side.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
@@ -40,13 +42,13 @@
 // watcher keeps what it is told.
 type watcher struct {
 	gone    chan struct{}
-	ended   chan exchange.End
+	ended   chan balance.Outcome
 	delayed chan time.Duration
 }
 
-func (w *watcher) CallerGone(*exchange.Transaction)                { close(w.gone) }
-func (w *watcher) Ended(_ *exchange.Transaction, how exchange.End) { w.ended <- how }
-func (w *watcher) Delayed(_ *exchange.Transaction, d time.Duration) {
+func (w *watcher) CallerGone(decide.Item)                 { close(w.gone) }
+func (w *watcher) Ended(_ decide.Item, o balance.Outcome) { w.ended <- o }
+func (w *watcher) Delayed(_ decide.Item, d time.Duration) {
 	w.delayed <- d
 }
 
@@ -65,7 +67,7 @@
 	t.Helper()
 	near, caller := pair(t)
 	hopNear, hop := pair(t)
-	w := &watcher{gone: make(chan struct{}), ended: make(chan exchange.End, 1),
+	w := &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1),
 		delayed: make(chan time.Duration, 16)}
 	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: leg.New(hopNear), fromNode: bufio.NewReader(caller),
 		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
@@ -133,8 +135,8 @@
 		t.Errorf("delays told: %v, then %v", first, second)
 	}
 	b.expect(t, b.fromNode, "MOVE\r\n")
-	if how := wait(t, b.ended); how != exchange.Silent {
-		t.Errorf("ended as %v, want Silent", how)
+	if how := wait(t, b.ended); how != balance.Reset {
+		t.Errorf("ended as %v, want Reset", how)
 	}
 	if _, err := b.fromCaller.ReadByte(); err == nil {
 		t.Error("the next hop's leg is still open")
@@ -154,8 +156,8 @@
 	wait(t, b.delayed)
 	b.t.Move()
 	b.expect(t, b.fromNode, "MOVE\r\n")
-	if how := wait(t, b.ended); how != exchange.Moved {
-		t.Errorf("ended as %v, want Moved", how)
+	if how := wait(t, b.ended); how != balance.Cancelled {
+		t.Errorf("ended as %v, want Cancelled", how)
 	}
 }
 
@@ -165,21 +167,21 @@
 	tests := []struct {
 		name   string
 		end    func(t *testing.T, b *bench)
-		want   exchange.End
+		want   balance.Outcome
 		passed string // the last line that the caller gets
 	}{
-		{"next hop says BYE", func(t *testing.T, b *bench) { say(t, b.hop, "BYE x0=1\r\n"); b.hop.Close() }, exchange.Served, "BYE x0=1\r\n"},
-		{"next hop says MOVE", func(t *testing.T, b *bench) { say(t, b.hop, "MOVE\r\n"); b.hop.Close() }, exchange.Moved, "MOVE\r\n"},
-		{"next hop ends", func(_ *testing.T, b *bench) { b.hop.Close() }, exchange.Broken, ""},
-		{"next hop resets", func(_ *testing.T, b *bench) { reset(b.hop) }, exchange.Broken, ""},
-		{"caller ends", func(_ *testing.T, b *bench) { b.caller.Close() }, exchange.CallerLeft, ""},
-		{"caller resets", func(_ *testing.T, b *bench) { reset(b.caller) }, exchange.CallerLeft, ""},
-		{"our move", func(_ *testing.T, b *bench) { b.t.Move() }, exchange.Moved, "MOVE\r\n"},
+		{"next hop says BYE", func(t *testing.T, b *bench) { say(t, b.hop, "BYE x0=1\r\n"); b.hop.Close() }, balance.OK, "BYE x0=1\r\n"},
+		{"next hop says MOVE", func(t *testing.T, b *bench) { say(t, b.hop, "MOVE\r\n"); b.hop.Close() }, balance.Cancelled, "MOVE\r\n"},
+		{"next hop ends", func(_ *testing.T, b *bench) { b.hop.Close() }, balance.Reset, ""},
+		{"next hop resets", func(_ *testing.T, b *bench) { reset(b.hop) }, balance.Reset, ""},
+		{"caller ends", func(_ *testing.T, b *bench) { b.caller.Close() }, balance.Cancelled, ""},
+		{"caller resets", func(_ *testing.T, b *bench) { reset(b.caller) }, balance.Cancelled, ""},
+		{"our move", func(_ *testing.T, b *bench) { b.t.Move() }, balance.Cancelled, "MOVE\r\n"},
 		{"our move within a line", func(t *testing.T, b *bench) {
 			say(t, b.hop, "whole\r\nhalf a li")
 			b.expect(t, b.fromNode, "whole\r\n")
 			b.t.Move()
-		}, exchange.Moved, "MOVE\r\n"},
+		}, balance.Cancelled, "MOVE\r\n"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -49,7 +49,7 @@
 	default:
 		how := t.relay(a)
 		a.hop.Release()
-		t.watch.Ended(t, how)
+		t.watch.Ended(t, how.outcome())
 	}
 	// The reader still runs: it drops what the caller writes, so that the
 	// close does not reset the connection under the last line.
