Remove delay notes: the module's looks find slow servers without them

A line unanswered for 350 ms, and each answer's delay, went through a filter in decide to the module, which probed the server; but servers in use are probed every second anyway, and their own reports tell of slow messages.

Ruled out: that silent next hops need them.

The test of the filter goes with it; the late answer is now tested in exact time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,8 +70,8 @@
 	// lookAfter is how long after connections were taken over their server is
 	// looked at: by then its report shows them. No draw of ours put them there.
 	// lookEvery is how long a server that holds connections goes unprobed at most:
-	// where nothing tells of its delays, draws alone may not meet it for many
-	// seconds, and it serves nobody meanwhile if it has grown full or slow.
+	// draws alone may not meet it for many seconds, and it serves nobody meanwhile
+	// if it has grown full or slow.
 	lookAfter, lookEvery = 500 * time.Millisecond, time.Second
 	// drainSpread is the time over which connections leave a draining server.
 	drainSpread = 1500 * time.Millisecond
@@ -127,8 +127,6 @@
 		b.adopt(e)
 	case Started:
 		b.stands(e)
-	case DelayNote:
-		b.delayed(e)
 	case AttemptEnded:
 		b.ended(e)
 	case ClientGone:
@@ -781,20 +779,6 @@
 
 // ---- moves ----
 
-// delayed takes a server's slow messages as a hint to look at it.
-func (b *Balancer) delayed(e DelayNote) {
-	r := b.requests[e.ID]
-	if r == nil || r.at == nil || r.phase != opened {
-		return
-	}
-	s := r.at
-	if e.Delay < r.class.MessageAim/2 || b.now < s.checkAt || b.now < s.relievedAt || !b.probesTell() {
-		return
-	}
-	s.checkAt = b.now + b.jitter(settle, 0.3)
-	b.probe(s)
-}
-
 // relieve moves connections away from a server whose report shows it well
 // above the fleet, by the share that would bring it back. Every instance does
 // the same by itself, so together they move about what is needed.
--- a/balance/state.go
+++ b/balance/state.go
@@ -70,7 +70,6 @@
 	placed     fading     // load placed here that reports may not show yet
 	faults     fading     // errors and failed connections of late
 	conns      []*request
-	checkAt    time.Duration // no check probe before
 	relievedAt time.Duration // no moves before
 	lookAt     time.Duration // to be probed by then if it holds connections
 }
--- a/balance/types.go
+++ b/balance/types.go
@@ -177,13 +177,6 @@
 	Latency time.Duration
 }
 
-// DelayNote tells how long a message takes at a server now.
-type DelayNote struct {
-	ID     string
-	Server string
-	Delay  time.Duration
-}
-
 // AttemptEnded reports how an attempt ended. Final means that the request is
 // over with it; otherwise this instance still owes the answer.
 type AttemptEnded struct {
@@ -214,7 +207,6 @@
 func (Request) event()      {}
 func (OpenConn) event()     {}
 func (Started) event()      {}
-func (DelayNote) event()    {}
 func (AttemptEnded) event() {}
 func (ClientGone) event()   {}
 func (TimerFired) event()   {}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -21,7 +21,6 @@
 
 func (decider) CallerGone(decide.Item)             {}
 func (decider) Ended(decide.Item, balance.Outcome) {}
-func (decider) Delayed(decide.Item, time.Duration) {}
 
 // Whatever time a caller asks for, it holds its sockets no longer than the
 // protocol has a use for.
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -62,7 +62,6 @@
 	classes      map[string]bool
 	transactions map[string]*entry
 	timers       timers
-	delays       delays
 	actions      []balance.Action
 }
 
@@ -89,7 +88,7 @@
 	}
 	return &Core{clock: clock, balancer: balancer, prober: p, roster: r,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
-		classes: classes, transactions: map[string]*entry{}, delays: newDelays(set.Classes)}, nil
+		classes: classes, transactions: map[string]*entry{}}, nil
 }
 
 // Run handles events until ctx ends.
@@ -251,15 +250,6 @@
 	})
 }
 
-// Delayed is told how long a next hop took to answer a caller's line.
-func (c *Core) Delayed(item Item, delay time.Duration) {
-	c.post(func() {
-		if e := c.known(item); e != nil && c.delays.worthTelling(e.server, delay, time.Now()) {
-			c.handle(balance.DelayNote{ID: e.asked.ID, Server: e.server, Delay: delay})
-		}
-	})
-}
-
 // ---- the next hop's side ----
 
 // BranchUp is told when a branch is up, and what it carries is the front's.
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -24,32 +24,6 @@
 	}
 }
 
-func TestDelaysWorthTelling(t *testing.T) {
-	d := newDelays([]balance.Class{{MessageAim: 90 * time.Millisecond}, {MessageAim: 60 * time.Millisecond}, {}})
-	now := time.Now()
-	for i, s := range []struct {
-		server string
-		at     time.Duration
-		delay  time.Duration
-		want   bool
-	}{
-		{"a", 0, 20 * time.Millisecond, false},                      // a third of the shortest aim
-		{"a", 0, 21 * time.Millisecond, true},                       // over it
-		{"a", 900 * time.Millisecond, 70 * time.Millisecond, false}, // once a second
-		{"b", 900 * time.Millisecond, 70 * time.Millisecond, true},  // for each next hop
-		{"a", time.Second, 70 * time.Millisecond, true},
-		{"a", 1100 * time.Millisecond, 2 * time.Millisecond, true}, // once more when it is back under
-		{"a", 1200 * time.Millisecond, 2 * time.Millisecond, false},
-	} {
-		if got := d.worthTelling(s.server, s.delay, now.Add(s.at)); got != s.want {
-			t.Errorf("step %d: %v, want %v", i, got, s.want)
-		}
-	}
-	if none := newDelays(nil); none.worthTelling("a", time.Hour, now) {
-		t.Error("told without an aim")
-	}
-}
-
 // parties stand in for the next hops and the roster.
 type parties struct {
 	started chan string
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -81,7 +81,6 @@
 type Watcher interface {
 	CallerGone(item decide.Item)                     // while it waited for its answer, or was turned away meanwhile
 	Ended(item decide.Item, outcome balance.Outcome) // after UP; both legs are closed
-	Delayed(item decide.Item, delay time.Duration)   // from a caller's line to the next hop's answer, or until now
 }
 
 // answer is what the deciding side hands to the caller's side.
@@ -111,7 +110,7 @@
 	moving  bool      // a MOVE is wanted
 	closing bool      // the caller leg is about to be closed
 	pending time.Time // when the oldest unanswered line of the caller went on
-	looks   int       // how often its answer was found missing
+	looked  bool      // it was found missing, and is looked for once more
 }
 
 // New returns a transaction for a request that came on the caller leg.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"coralrelay/balance"
@@ -41,16 +43,12 @@
 
 // watcher keeps what it is told.
 type watcher struct {
-	gone    chan struct{}
-	ended   chan balance.Outcome
-	delayed chan time.Duration
+	gone  chan struct{}
+	ended chan balance.Outcome
 }
 
 func (w *watcher) CallerGone(decide.Item)                 { close(w.gone) }
 func (w *watcher) Ended(_ decide.Item, o balance.Outcome) { w.ended <- o }
-func (w *watcher) Delayed(_ decide.Item, d time.Duration) {
-	w.delayed <- d
-}
 
 // bench is a transaction between two parties on real sockets.
 type bench struct {
@@ -65,10 +63,14 @@
 
 func start(t *testing.T) *bench {
 	t.Helper()
-	near, caller := pair(t)
-	hopNear, hop := pair(t)
-	w := &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1),
-		delayed: make(chan time.Duration, 16)}
+	return startOn(t, func() (near, far net.Conn) { return pair(t) })
+}
+
+func startOn(t *testing.T, pair func() (near, far net.Conn)) *bench {
+	t.Helper()
+	near, caller := pair()
+	hopNear, hop := pair()
+	w := &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
 	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: leg.New(hopNear), fromNode: bufio.NewReader(caller),
 		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
 	b.t = exchange.New(exchange.Request{ID: "a"}, opening{}, line.Front{}, w, leg.New(near))
@@ -123,18 +125,17 @@
 	b.expect(t, b.fromNode, "yes\r\n")
 }
 
-// A hung next hop answers nothing: its delay is told while a line still waits,
-// and then its caller is moved, well before 7 s.
+// A hung next hop answers nothing: its caller is moved, well before 7 s.
 func TestSilentNextHop(t *testing.T) {
 	b := start(t)
 	b.up(t)
 	say(t, b.caller, "are you there\r\n")
 	b.expect(t, b.fromCaller, "are you there\r\n")
-	first := wait(t, b.delayed)
-	if second := wait(t, b.delayed); first < 300*time.Millisecond || second <= first {
-		t.Errorf("delays told: %v, then %v", first, second)
-	}
+	begun := time.Now()
 	b.expect(t, b.fromNode, "MOVE\r\n")
+	if took := time.Since(begun); took < time.Second || took > 7*time.Second {
+		t.Errorf("moved after %v", took)
+	}
 	if how := wait(t, b.ended); how != balance.Reset {
 		t.Errorf("ended as %v, want Reset", how)
 	}
@@ -143,22 +144,27 @@
 	}
 }
 
-// An answer that comes late but comes keeps the connection.
+// An answer that comes late but comes keeps the connection: here between the first
+// look and the last.
 func TestLateAnswerKeepsTheConnection(t *testing.T) {
-	b := start(t)
-	b.up(t)
-	say(t, b.caller, "are you there\r\n")
-	say(t, b.hop, "LOA") // half a line must outlive the wait for the rest
-	wait(t, b.delayed)
-	say(t, b.hop, "D 7\r\nyes\r\n")
-	b.expect(t, b.fromNode, "LOAD 7\r\n")
-	b.expect(t, b.fromNode, "yes\r\n")
-	wait(t, b.delayed)
-	b.t.Move()
-	b.expect(t, b.fromNode, "MOVE\r\n")
-	if how := wait(t, b.ended); how != balance.Cancelled {
-		t.Errorf("ended as %v, want Cancelled", how)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		b := startOn(t, net.Pipe)
+		b.up(t)
+		say(t, b.caller, "are you there\r\n")
+		b.expect(t, b.fromCaller, "are you there\r\n")
+		say(t, b.hop, "LOA") // half a line must outlive the wait for the rest
+		time.Sleep(1600 * time.Millisecond)
+		go fmt.Fprint(b.hop, "D 7\r\nyes\r\n")
+		b.expect(t, b.fromNode, "LOAD 7\r\n")
+		b.expect(t, b.fromNode, "yes\r\n")
+		b.t.Move()
+		b.expect(t, b.fromNode, "MOVE\r\n")
+		if how := wait(t, b.ended); how != balance.Cancelled {
+			t.Errorf("ended as %v, want Cancelled", how)
+		}
+		b.caller.Close()
+		wait(t, b.finished)
+	})
 }
 
 // Either side's end ends the other side.
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -11,11 +11,6 @@
 )
 
 const (
-	// overdue is when a line that still waits for its answer is told as a
-	// delay. A hung next hop answers nothing, so that the delay of an answer
-	// alone would never tell of it. Told sooner, the module's probe would still
-	// find the report from before the trouble: reports are up to 370 ms old.
-	overdue = 350 * time.Millisecond
 	// silence is how long a next hop may leave a caller's line unanswered
 	// before the caller is moved. Sound ones answer within a millisecond or
 	// two; callers write every 2 s, and a dead connection must be left within
@@ -130,23 +125,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
-		t.pending, t.looks = time.Now(), 0
-		_ = hop.SetReadDeadline(t.pending.Add(overdue))
+		t.pending, t.looked = time.Now(), false
+		_ = hop.SetReadDeadline(t.pending.Add(silence))
 	}
 }
 
-// heard notes that the next hop has answered and how long it took.
+// heard notes that the next hop has answered.
 func (t *Transaction) heard(hop *leg.Leg) {
 	t.mu.Lock()
-	since := t.pending
-	t.pending = time.Time{}
-	if !since.IsZero() && !t.moving && !t.gone {
+	defer t.mu.Unlock()
+	if !t.pending.IsZero() && !t.moving && !t.gone {
 		_ = hop.SetReadDeadline(time.Time{})
 	}
-	t.mu.Unlock()
-	if !since.IsZero() {
-		t.watch.Delayed(t, time.Since(since))
-	}
+	t.pending = time.Time{}
 }
 
 // relay passes the next hop's lines on, starting with its UP, until either side
@@ -190,22 +181,16 @@
 	}
 }
 
-// lookAgain is asked when a read from the next hop has failed. It is true while
-// a line has waited too short for the next hop to count as silent.
+// lookAgain is asked when a read from the next hop has failed. It is true, once, if
+// that was because a line has waited for its answer too long.
 func (t *Transaction) lookAgain(hop *leg.Leg, err error) bool {
 	t.mu.Lock()
-	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looks == 2 {
-		t.mu.Unlock()
+	defer t.mu.Unlock()
+	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked {
 		return false
 	}
-	since := t.pending
-	next := since.Add(silence)
-	if t.looks++; t.looks == 2 {
-		next = time.Now().Add(secondLook)
-	}
-	_ = hop.SetReadDeadline(next)
-	t.mu.Unlock()
-	t.watch.Delayed(t, time.Since(since))
+	t.looked = true
+	_ = hop.SetReadDeadline(time.Now().Add(secondLook))
 	return true
 }
 
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -40,7 +40,6 @@
 // The exchange tells these; no test here waits for them.
 func (w watcher) CallerGone(decide.Item)             {}
 func (w watcher) Ended(decide.Item, balance.Outcome) {}
-func (w watcher) Delayed(decide.Item, time.Duration) {}
 
 func (w watcher) next(t *testing.T) told {
 	t.Helper()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -77,8 +77,6 @@
 	Server        string             `json:"server"`
 	Hop           int                `json:"hop"`
 	Lag           float64            `json:"lag"`
-	Kind          int                `json:"kind"`
-	X             float64            `json:"x"`
 	RC            int                `json:"rc"`
 	Complete      bool               `json:"complete"`
 	Report        map[string]float64 `json:"report"`
@@ -162,8 +160,6 @@
 		d.Event = balance.OpenConn{Request: request(m), Server: m.Server}
 	case "Opened":
 		d.Event = balance.Started{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: settings.Seconds(m.Lag)}
-	case "Progress":
-		d.Event = note(m)
 	case "Completed":
 		d.Event = balance.AttemptEnded{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Outcome: outcome(m.RC),
 			Latency: settings.Seconds(m.Lag), Final: m.Complete, Load: load(m.Report)}
@@ -174,6 +170,7 @@
 	case "StatusBack":
 		d.Event = balance.ProbeAnswer{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
 			Load: load(m.Report)}
+	case "Progress": // servers' own reports tell more of loads and delays
 	case "Memo": // instances tell each other nothing
 	default:
 		return d, false
@@ -181,15 +178,6 @@
 	return d, true
 }
 
-// note turns a Progress into a DelayNote. Others, such as a connection's load, which
-// its server's own report tells better, are passed over.
-func note(m *message) balance.Event {
-	if m.Kind != 2 {
-		return nil
-	}
-	return balance.DelayNote{ID: m.Ref, Server: m.Server, Delay: settings.Seconds(m.X / 1e3)}
-}
-
 func request(m *message) balance.Request {
 	q := balance.Request{ID: m.Ref, Class: m.Grade, Group: m.TeamID, Returned: m.CameBack,
 		Retry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -67,7 +67,7 @@
 		{"load note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":1,"x":250000}`,
 			nil},
 		{"delay note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":2,"x":31.5}`,
-			balance.DelayNote{ID: "c:one", Server: "s.a", Delay: 31500 * time.Microsecond}},
+			nil},
 		{"note of a kind to come", `{"cmd":"Progress","who":2,"ref":"c:one","kind":9,"x":1}`, nil},
 		{"attempt ended", `{"cmd":"Completed","who":2,"ref":"c:one","hop":1,"server":"s.a","rc":4,"lag":0.25,` +
 			`"complete":false,"report":null}`,
