Take no report, and no clock, for more than it can be

Seen by reading, then by tests that failed: a load of - a counter that wrapped - passed as low. level() cut it into a whole number, which overflowed to far below 0, and every draw of that server was decided at once (balance.go report, level). Infinite load did the same; NaN stayed in the fleet's usual load, and infinite load over infinite connections in the weight of one, for good. A wrapped number of connections made each weigh 1e-20, so that placements did not show. A clock two hours back made faults NaN, and a server was never drawn again.

Ruled out: NaN, infinities and negative numbers over sockets. line.number takes finite ones only and ParseReport none below 0; 1e300 passes. The node's clock is monotonic and can't step back; the module no longer relies on that.

A load over 1000 is no load: the server counts as one that never reported.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,10 @@
 	// and clip what a single one counts at most, so that a few servers in
 	// trouble don't pass for the usual.
 	samples, clip = 16.0, 1.5
+	// absurd and mostConns are what no report says that is true: a load over
+	// capacity, and connections on one server. Believed, one such reading would pass
+	// as low where it is cut into levels, or make connections weigh nothing.
+	absurd, mostConns = 1000.0, 1e7
 	// settle is how long a placed connection may be missing from a report.
 	settle = time.Second
 	// fewConns is how many connections a report must count before the load of one of
@@ -116,7 +120,9 @@
 
 // Handle takes one event and appends the actions that answer it.
 func (b *Balancer) Handle(now time.Duration, ev Event, actions []Action) []Action {
-	b.now, b.out = now, actions
+	// A clock that steps back stands still here: what fades would grow beyond all
+	// bounds, and never be a number again.
+	b.now, b.out = max(b.now, now), actions
 	b.begin()
 	switch e := ev.(type) {
 	case ListUpdate:
@@ -371,13 +377,17 @@
 	if load < 0 {
 		return
 	}
+	if !(load <= absurd) { // a counter has wrapped, or it is no number: nothing is known
+		s.load, s.each = -1, 0
+		return
+	}
 	if b.slow > 0 && l.Latency/1000 > b.slow.Seconds() {
 		load = max(load, 1) // it serves nobody in time, whatever its cores could do
 	}
 	s.load = load
 	b.answers = min(b.answers+1, samples)
 	b.usual += (min(load, clip) - b.usual) / b.answers
-	if l.Inflight >= 0 {
+	if l.Inflight >= 0 && l.Inflight <= mostConns {
 		s.each = load / max(l.Inflight, fewConns)
 	}
 }
--- /dev/null
+++ b/balance/edges_test.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// Arithmetic at its edges: whatever one report, hint or clock says, the next sound
+// one is believed, and nobody else is harmed meanwhile.
+
+func report(x0, inflight float64) Load {
+	l := NoLoad
+	l.X0, l.Inflight = x0, inflight
+	return l
+}
+
+// A load counter that has wrapped was cut into a level below 0, as the whole number
+// overflowed, and its server passed as low. What is no number poisoned the usual load
+// and the load of one connection for good.
+func TestReportsThatCannotBe(t *testing.T) {
+	inf, nan := math.Inf(1), math.NaN()
+	for _, l := range []Load{report(nan, 5), report(inf, 5), report(18446744073709551615, 5), report(1e300, 5),
+		report(inf, inf), report(0.3, nan), report(0.3, inf), report(0.3, 18446744073709551615),
+		report(-0.3, 5), report(math.Inf(-1), 5), report(0.3, -1)} {
+		t.Run(fmt.Sprint(l.X0, " with ", l.Inflight), func(t *testing.T) {
+			d := newBench(t, settings(), "a", "b")
+			tell := func(s string, l Load) []Action {
+				return d.tell(ProbeAnswer{Server: s, Outcome: OK, Latency: ms, Load: l})
+			}
+			for i := range 20 {
+				d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
+				tell("a", report(0.5, 20))
+				tell("b", report(0.5, 20))
+			}
+			usual := d.b.usual
+			tell("a", l)
+			if got := d.b.usual; !(math.Abs(got-usual) < 0.2) {
+				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
+			}
+			if believed := l.X0 >= 0 && l.X0 < 1; !believed {
+				asked, actions := "", d.request("r")
+				for asked != "a" && len(pick[Probe](actions)) > 0 { // let it be drawn
+					if asked = pick[Probe](actions)[0].Server; asked == "a" {
+						actions = tell("a", l)
+					} else {
+						actions = tell("b", report(0.95, 20))
+					}
+				}
+				if got := pick[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.X0 > 1 {
+					t.Error("passed as low")
+				}
+			}
+			if w := d.b.weight(d.b.track(Request{ID: "w", Class: "c"}), d.b.servers["a"]); !(w > 0.001) || w > 0.25 {
+				t.Errorf("a connection weighs %v there", w)
+			}
+			tell("a", report(0.5, 20))
+			if got := d.b.loadOf(d.b.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
+				t.Errorf("load %v after a sound report of 0.5", got)
+			}
+		})
+	}
+}
+
+// An hour back, sums that fade over seconds grew beyond all numbers.
+func TestClockStepsBack(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	d.now = 10 * time.Hour
+	loads := map[string]float64{"a": 0.3, "b": 0.3}
+	for i := range 20 {
+		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+		d.now += 100 * ms
+	}
+	failed := ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad}
+	d.tell(failed)
+	d.now -= 2 * time.Hour
+	d.tell(failed)
+	d.now += 2 * time.Hour
+	for i := range 20 {
+		if _, at := drawsUntilPlaced(d, fmt.Sprint("q", i), loads); at == "" {
+			t.Fatal("nothing is placed any more")
+		}
+		d.now += 100 * ms
+	}
+	for _, s := range d.b.ready {
+		if load, share := d.b.loadOf(s), d.b.share(s); !(load < 1) || !(share > 0.05) {
+			t.Errorf("%s is at %v and is left %v of its draws", s.ID, load, share)
+		}
+	}
+}
