Bound what one client's hint weighs

Seen: hints are clients' words (h= in the first line) and any finite number passes. An infinite one weighed NaN. And the first hint after a hundred connections without one counted 1/64 of itself as the mean, so its connection weighed 64 times too much (state.go track, balance.go arrive and weight).

A hint counts over the mean of hints, at most 16 times it, and the mean is of hints rather than of requests.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,6 +35,8 @@
 	// capacity, and connections on one server. Believed, one such reading would pass
 	// as low where it is cut into levels, or make connections weigh nothing.
 	absurd, mostConns = 1000.0, 1e7
+	// heaviest is what a connection counts at most, as a multiple of the mean.
+	heaviest = 16.0
 	// settle is how long a placed connection may be missing from a report.
 	settle = time.Second
 	// fewConns is how many connections a report must count before the load of one of
@@ -187,9 +189,6 @@
 	if !q.Returned && !q.Retry {
 		b.rate[1].add(b.now, 1)
 	}
-	if q.Hint > 0 {
-		b.hint += (q.Hint - b.hint) / min(float64(r.seq), 64)
-	}
 	// The answer must be out before the deadline; two ticks cover rounding
 	// and a batch that comes late.
 	r.giveUp = q.Deadline - 2*b.set.Tick
@@ -618,10 +617,7 @@
 		}
 		w = b.usual / (float64(b.open*b.set.Instances) / float64(max(len(b.ready), 1)))
 	}
-	if r.Hint > 0 && b.hint > 0 {
-		w *= r.Hint / b.hint
-	}
-	return min(w, 0.25)
+	return min(w*r.heft, 0.25)
 }
 
 func (b *Balancer) stands(e Started) {
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -89,3 +89,46 @@
 		}
 	}
 }
+
+// One client's hint of 1e300 became the mean, and for thousands of requests no other
+// connection weighed anything: what was placed did not show.
+func TestOneHugeHint(t *testing.T) {
+	for _, huge := range []float64{1e300, math.Inf(1), 1e18, math.NaN(), -1, 0} {
+		t.Run(fmt.Sprint(huge), func(t *testing.T) {
+			d := newBench(t, settings(), "a")
+			hinted := func(id string, hint float64) float64 {
+				d.tell(Request{ID: id, Class: "c", Hint: hint, Deadline: d.now + time.Second})
+				d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+				w := d.b.weight(d.b.requests[id], d.b.servers["a"])
+				d.tell(ClientGone{ID: id})
+				return w
+			}
+			usual := 0.0
+			for i := range 100 {
+				usual = hinted(fmt.Sprint("r", i), 0.5)
+			}
+			if w := hinted("huge", huge); !(w > 0) || w > 0.25 {
+				t.Errorf("it weighs %v", w)
+			}
+			if w := hinted("q", 0.5); !(w > usual/2) || w > 2*usual {
+				t.Errorf("another weighs %v after it, %v before", w, usual)
+			}
+		})
+	}
+}
+
+// The first hint after a hundred connections without one counted 1/64 of itself as
+// the mean, and its connection weighed 64 times what it should.
+func TestFirstHint(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	for i := range 100 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	d.run(d.now + 20*time.Second)
+	d.answer("a", 0.5)
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.5, 100)})
+	d.tell(Request{ID: "r", Class: "c", Hint: 7, Deadline: d.now + time.Second})
+	if w := d.b.weight(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
+		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,6 +45,7 @@
 	rttDev  float64       // and its mean deviation
 	rate    [2]fading     // placements a second: of late, and usual
 	hint    float64       // mean hint of connections
+	hints   float64       // how many it is taken from
 	moves   float64       // moves that may be made now
 	movesAt time.Duration
 
@@ -110,6 +111,7 @@
 	attempts int
 	at       *server // where its attempt or connection is
 	place    int     // index in at.conns while opened
+	heft     float64 // its hint over the mean of hints, or 1
 	ran      *server // where an attempt may have run
 	ranAt    time.Duration
 	moving   bool
@@ -142,7 +144,17 @@
 		class = &c
 	}
 	b.seq++
-	r := &request{Request: q, seq: b.seq, class: class}
+	r := &request{Request: q, seq: b.seq, class: class, heft: 1}
+	if q.Hint > 0 && !math.IsInf(q.Hint, 1) {
+		// Over the mean, and bounded: one client's word must not make all others weigh
+		// nothing.
+		if b.hints == 0 {
+			b.hint = q.Hint
+		}
+		b.hints = min(b.hints+1, 64)
+		r.heft = min(q.Hint/b.hint, heaviest)
+		b.hint += (r.heft - 1) * b.hint / b.hints
+	}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
 	return r
 }
