Let a second end of one attempt change nothing

Seen by reading: AttemptEnded did not look whether that attempt was out. Told twice that a server was full, the module queued the request twice, drew twice at once and sent it twice - two attempts out (balance.go ended, failed). A reset told after a refusal answered a request that was being drawn for.

Before: 2 further attempts after two ends, or an answer while one is under way; after: 1 and none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -638,6 +638,9 @@
 	if r == nil {
 		return
 	}
+	if out := r.phase == sent && e.Attempt == r.attempts-1; !out && !e.Final && r.phase != opened {
+		return // this attempt has been told to be over
+	}
 	if r.phase == sent && r.at != nil {
 		switch e.Outcome {
 		case Errored, ConnectFailed, Full, TimedOut, Reset:
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -132,3 +132,23 @@
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
 }
+
+// A second end of one attempt had the request wait twice for its turn: it drew twice
+// at once, and was sent twice.
+func TestSecondEndChangesNothing(t *testing.T) {
+	for _, o := range []Outcome{Full, ConnectFailed, Errored, Reset} {
+		d := newBench(t, settings(), "a", "b", "c", "d")
+		_, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1})
+		end := AttemptEnded{ID: "r", Server: at, Outcome: Full, Load: NoLoad}
+		actions := d.tell(end)
+		end.Outcome = o
+		actions = append(actions, d.tell(end)...)
+		sent, answers := 0, len(pick[Refuse](actions))
+		for _, p := range pick[Probe](actions) {
+			sent += len(pick[Attempt](d.answer(p.Server, 0.1)))
+		}
+		if sent != 1 || answers != 0 {
+			t.Errorf("%d more attempts and %d answers after a second end, want 1 and 0", sent, answers)
+		}
+	}
+}
