Start afresh with a new process under a known id

Seen by a test: a server whose process died with 200 connections was left 0.1% of its draws, for half a minute, although another process had its id; its load was still the old one's 0.9 (balance.go entry). Two more on sockets (nexthop probe.go probeLoop): the kept probe connection went on asking the old address when an id moved, for as long as somebody answered there, and a probe cut off because its next hop was gone was told as a failure of the one that had its id by then.

Ruled out: branches, which take the address anew each time, and probes' answers in the module, which go by what is listed now.

Before: share 0.001 of its draws, load 0.90 by hearsay, the report of another process, an outcome of reset; after: the share of a cold server, unknown, its own.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -884,6 +884,9 @@
 		s.placed.span, s.faults.span = settle, blame
 		b.servers[e.ID] = s
 	}
+	if e.Started > s.Started { // another process: what is known is the old one's
+		s.load, s.each, s.placed.sum, s.faults.sum, s.probing = -1, 0, 0, 0, false
+	}
 	wasDraining := s.State == Draining
 	s.ServerEntry = e
 	switch {
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -152,3 +152,22 @@
 		}
 	}
 }
+
+// What was known of a server is its old process's: a new one under the same id was
+// shunned for the faults of the one that had died with all its connections.
+func TestAnotherProcessStartsAfresh(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 200 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	d.answer("a", 0.9)
+	d.now += 30 * time.Second
+	for i := range 200 {
+		d.tell(AttemptEnded{ID: fmt.Sprint("o", i), Server: "a", Outcome: Reset, Final: true, Load: NoLoad})
+	}
+	d.list(ListDelta, ServerEntry{ID: "a", Started: d.now})
+	s := d.b.servers["a"]
+	if p, cold := d.b.share(s), d.b.coldShare(d.b.warmth(s)); p < min(d.b.warmth(s), cold)*0.9 || d.b.loadOf(s) >= 0 {
+		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.loadOf(s))
+	}
+}
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -214,3 +214,63 @@
 		t.Errorf("unknown next hop: told %+v", got)
 	}
 }
+
+// stats serves load reports on a listener of its own until the test ends.
+func stats(t *testing.T, x0 string) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for lines := bufio.NewScanner(conn); lines.Scan(); {
+					fmt.Fprintf(conn, "PONG x0=%s\r\n", x0)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A process that took an id over at another address was judged by the one that had
+// it: the kept connection went on asking there, for as long as that one answered.
+func TestProbesFollowTheAddress(t *testing.T) {
+	h, w, _ := start(t, func(net.Conn) {})
+	for _, x0 := range []float64{0.25, 0.75} {
+		moved := []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
+		h.Update(false, moved, time.Now())
+		h.Probe("s1")
+		if got := w.next(t); got.outcome != balance.OK || got.load.X0 != x0 {
+			t.Errorf("told %+v, want the report %v of who has the id now", got, x0)
+		}
+	}
+}
+
+// A probe of a next hop that has gone meanwhile tells nothing of the one that has its
+// id now: it was held against that one as a failure.
+func TestProbesOfWhoHasGone(t *testing.T) {
+	asked := make(chan struct{})
+	h, w, _ := start(t, func(conn net.Conn) {
+		bufio.NewScanner(conn).Scan()
+		close(asked)
+		conn.Read(make([]byte, 1)) // answers nothing
+	})
+	h.Probe("s1")
+	<-asked
+	h.Update(false, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Gone}}}, time.Now())
+	h.Update(false, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, "0.5")}}, time.Now())
+	for range 3 {
+		h.Probe("s1")
+		if got := w.next(t); got.outcome != balance.OK {
+			t.Errorf("told %+v of a sound next hop", got)
+		}
+	}
+}
--- a/internal/nexthop/probe.go
+++ b/internal/nexthop/probe.go
@@ -29,6 +29,7 @@
 // probeLoop owns the kept connection of one next hop.
 func (h *Hops) probeLoop(ctx context.Context, p *hop) {
 	var l *leg.Leg
+	at := "" // where l goes to
 	closeKept := func() {
 		if l != nil {
 			l.Release()
@@ -42,16 +43,23 @@
 			return
 		case <-p.probes:
 		}
+		if addr := p.address(); addr != at {
+			closeKept() // whoever answers there is somebody else
+			at = addr
+		}
 		begun := time.Now()
 		deadline := begun.Add(h.limits.Probe)
 		kept := l != nil
-		load, err := h.stats(ctx, p, &l, deadline)
+		load, err := h.stats(ctx, p.id, at, &l, deadline)
 		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errStats) {
 			// The next hop may have closed it while it was idle. An answer that
 			// is no report is one all the same: asking again would only add to
 			// whatever ails it.
 			closeKept()
-			load, err = h.stats(ctx, p, &l, deadline)
+			load, err = h.stats(ctx, p.id, at, &l, deadline)
+		}
+		if ctx.Err() != nil {
+			return // gone: what came of it says nothing of who may have its id now
 		}
 		outcome := balance.OK
 		if err != nil {
@@ -78,11 +86,11 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Hops) stats(ctx context.Context, p *hop, kept **leg.Leg, deadline time.Time) (balance.Load, error) {
+func (h *Hops) stats(ctx context.Context, id, addr string, kept **leg.Leg, deadline time.Time) (balance.Load, error) {
 	if *kept == nil {
-		conn, err := h.dial(ctx, p.address(), deadline)
+		conn, err := h.dial(ctx, addr, deadline)
 		if err != nil {
-			return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+			return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 		}
 		*kept = leg.New(conn)
 	}
@@ -90,13 +98,13 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	if err := l.WriteText(line.Stats, deadline); err != nil {
-		return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 	}
 	text, err := l.ReadText(deadline)
 	if err != nil {
-		return balance.NoLoad, fmt.Errorf("probe %s: %w", p.id, err)
+		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 	}
-	slog.Debug("probe", "nexthop", p.id, "line", string(text))
+	slog.Debug("probe", "nexthop", id, "line", string(text))
 	load, err := line.ParseStats(text)
 	if err != nil {
 		return balance.NoLoad, errors.Join(errStats, err)
