--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,7 @@
 // listed with its condition in docs/design.md.
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -301,7 +302,7 @@
 	r.asked = s
 	s.waiting = append(s.waiting, r)
 	b.probe(s)
-	b.wakeAt(r, min(b.now+b.patience(r), r.giveUp))
+	b.wakeAt(r, min(b.now+b.patience(r), r.until()))
 }
 
 func (b *Balancer) probe(s *server) {
@@ -472,11 +473,7 @@
 		}
 		return
 	}
-	if r.best.slot >= 0 {
-		b.send(r, r.best)
-		return
-	}
-	b.enqueue(r) // its server has left meanwhile
+	b.send(r, r.best)
 }
 
 // atHome decides for r, whose home s was probed.
@@ -530,14 +527,38 @@
 	b.enter(r, queued)
 	r.draws, r.drawn, r.best = 0, r.drawn[:0], nil
 	r.homing, r.homes = false, nil
-	if b.now >= r.giveUp {
+	if b.now >= r.giveUp || b.hopeless(r) {
 		b.finish(r)
 		return
 	}
 	b.queue = append(b.queue, r)
 	b.pump()
 	if r.phase == queued {
-		b.wakeAt(r, r.giveUp)
+		b.wakeAt(r, r.until())
+	}
+}
+
+// hopeless tells whether no ready server may be sent r. Then it is answered at once:
+// to wait for another server would only keep its client from asking again. Before
+// the first list all may still come.
+func (b *Balancer) hopeless(r *request) bool {
+	return b.listed && !slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(r, s) })
+}
+
+// giveUpHopeless answers those whom the last server that they could go to has left.
+func (b *Balancer) giveUpHopeless() {
+	var left []*request
+	for _, r := range b.bySeq {
+		if (r.phase == queued || r.phase == drawing) && b.hopeless(r) {
+			left = append(left, r)
+		}
+	}
+	// Not in the map's order.
+	slices.SortFunc(left, func(r, o *request) int { return cmp.Compare(r.seq, o.seq) })
+	for _, r := range left {
+		if r.phase != ended { // one answered before may have given it its turn
+			b.finish(r)
+		}
 	}
 }
 
@@ -592,10 +613,14 @@
 
 // ---- attempts ----
 
-// send places r on s.
+// send places r on s, unless s has left or the time of r's repeats is up meanwhile.
 func (b *Balancer) send(r *request, s *server) {
+	if s.slot < 0 || !b.allowed(r, s) {
+		b.enqueue(r)
+		return
+	}
 	b.enter(r, sent)
-	r.at, r.wake = s, never
+	r.at, r.wake, r.since = s, never, b.now
 	r.attempts++
 	b.rate[0].add(b.now, 1)
 	if b.pause > b.set.Tick { // after congestion placements keep a distance
@@ -677,7 +702,9 @@
 	switch o {
 	case Full, ConnectFailed, Moot:
 	default:
-		r.ran, r.ranAt = s, b.now
+		if r.ran == nil { // the first that may have run, and the earliest that it can have
+			r.ran, r.ranAt = s, r.since
+		}
 		again = o == Errored && r.class.Effect != Unsafe
 	}
 	if !again || r.attempts >= b.set.Limits.MaxAttempts || b.now >= r.giveUp {
@@ -760,7 +787,7 @@
 		default:
 			b.draw(r)
 		}
-	case queued:
+	case queued: // its time is up, or the time of its repeats
 		b.finish(r)
 	case opened:
 		b.move(r)
@@ -848,6 +875,7 @@
 	if e.Kind != ListDelta {
 		b.dropUnlisted(e.Entries)
 	}
+	b.listed = b.listed || e.Kind != ListCached || len(e.Entries) > 0
 	none := len(b.ready) == 0
 	for _, entry := range e.Entries {
 		b.entry(entry)
@@ -856,6 +884,7 @@
 		b.pausedTo = b.now
 		b.pump()
 	}
+	b.giveUpHopeless()
 }
 
 // dropUnlisted marks servers gone that a whole list no longer names.
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -171,3 +171,94 @@
 		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.loadOf(s))
 	}
 }
+
+// To give up is to answer now. Requests that no ready server may be sent waited for
+// their deadline all the same.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	keyed := func(s *Settings) { s.Classes[0].Effect, s.Classes[0].Window = Keyed, 100*ms }
+	tests := []struct {
+		name string
+		set  func(*Settings)
+		play func(d *bench) []Action
+	}{
+		{"nobody is ready", nil, func(d *bench) []Action {
+			d.list(ListFull, ServerEntry{ID: "a", State: Draining})
+			return d.request("r")
+		}},
+		{"the last one leaves while it is probed", nil, func(d *bench) []Action {
+			d.request("r")
+			return d.list(ListFull, ServerEntry{ID: "a", State: Draining})
+		}},
+		{"the last one leaves while it waits", nil, func(d *bench) []Action {
+			d.b.congested()
+			d.request("r")
+			return d.list(ListFull, ServerEntry{ID: "a", State: Draining})
+		}},
+		{"all were tried", func(s *Settings) { s.Limits.MaxAttempts = 9 }, func(d *bench) []Action {
+			actions := d.request("r")
+			for i := range 3 {
+				for len(pick[Probe](actions)) > 0 {
+					actions = d.answer(pick[Probe](actions)[0].Server, 0.1)
+				}
+				for _, a := range pick[Attempt](actions) {
+					actions = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: a.Server, Outcome: Full, Load: NoLoad})
+				}
+			}
+			return actions
+		}},
+		{"its repeats' window ends while it waits", keyed, func(d *bench) []Action {
+			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
+			d.b.congested()
+			d.b.pausedTo = d.now + time.Second
+			d.tell(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, Load: NoLoad})
+			return d.run(d.now + 102*ms)
+		}},
+		{"its repeats' window ends while it is probed", keyed, func(d *bench) []Action {
+			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
+			d.now += 90 * ms
+			asked := pick[Probe](d.tell(AttemptEnded{ID: "r", Server: d.b.requests["r"].at.ID, Outcome: Errored, Load: NoLoad}))
+			d.now += 20 * ms
+			return d.answer(asked[0].Server, 0.1)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			set := settings()
+			if tt.set != nil {
+				tt.set(&set)
+			}
+			d := newBench(t, set, "a", "b", "c")
+			if tt.set == nil {
+				d.list(ListFull, entries("a")...)
+			}
+			got := tt.play(d)
+			if refused := pick[Refuse](got); len(refused) != 1 || refused[0].Pause == 0 || len(pick[Attempt](got)) != 0 {
+				t.Errorf("got %v, want one refusal that says when to return", got)
+			}
+		})
+	}
+}
+
+// How long repeats are dropped counts from the first attempt that may have run, and
+// that may have been at once. Counted from the latest end, a third came too late.
+func TestRepeatsCountFromTheFirst(t *testing.T) {
+	set := settings()
+	set.Classes[0].Effect, set.Classes[0].Window = Keyed, 100*ms
+	d := newBench(t, set, "a", "b", "c")
+	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
+	_, at := drawsUntilPlaced(d, "r", loads)
+	var got []Action
+	for i := range 2 {
+		d.now += 60 * ms
+		got = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: at, Outcome: Errored, Load: NoLoad})
+		for len(pick[Probe](got)) > 0 {
+			got = d.answer(pick[Probe](got)[0].Server, 0.1)
+		}
+		if sent := pick[Attempt](got); len(sent) > 0 {
+			at = sent[0].Server
+		}
+	}
+	if len(pick[Refuse](got)) != 1 {
+		t.Errorf("120 ms after it may first have run: %v, want a refusal", got)
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -6,39 +6,38 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"coralrelay/internal/rules"
 )
 
-// world plays legal events at random against one Balancer and holds every
-// action against the rules. It models no load: it only keeps the books that
-// the rules are about.
+// world plays legal events at random against one Balancer and writes every one, and
+// every action, into the rules' book. It models no load.
 type world struct {
 	t        *testing.T
 	rng      *rand.Rand
 	set      Settings
 	d        *bench
+	book     *rules.Book
 	requests map[string]*job
 	servers  map[string]*ServerEntry
-	told     map[string]time.Duration // when a server was told draining or gone
 	probes   []string
 	ids      int
 	log      []Action
 }
 
-// job is the world's book of a request.
+// job is what the world has to know of a request to go on with it.
 type job struct {
 	Request
-	class    Class
 	out      string // the server its attempt is at
 	attempts int
 	open     bool
-	ran      *ServerEntry
-	ranAt    time.Duration
-	answered bool // over, in whatever way
+	over     bool
 }
 
 func newWorld(t *testing.T, seed uint64, set Settings) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, requests: map[string]*job{},
-		servers: map[string]*ServerEntry{}, told: map[string]time.Duration{}}
+		servers: map[string]*ServerEntry{}, book: rules.NewBook(rules.Terms{Grace: set.Rules.AnswerGrace,
+			Attempts: set.Limits.MaxAttempts, Drain: set.Rules.DrainGrace, Prompt: 2 * set.Tick})}
 	w.d = newBench(t, set)
 	for i := range 6 {
 		w.servers[fmt.Sprint("s", i)] = &ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2), Cell: i % 3}
@@ -59,28 +58,47 @@
 func (w *world) list(kind ListKind) {
 	var list []ServerEntry
 	for _, id := range w.ordered() {
-		if s := w.servers[id]; kind == ListDelta || s.State != Gone {
+		s := w.servers[id]
+		w.book.Told(w.d.now, id, rules.State(s.State), s.Started)
+		if kind == ListDelta || s.State != Gone {
 			list = append(list, *s)
 		}
 	}
 	w.check(w.d.list(kind, list...))
 }
 
-// check holds actions against the rules and books what they start.
+// repeats is what the book has to know of a class.
+func (w *world) repeats(c Class) rules.Repeats {
+	r := rules.Repeats{Never: c.Effect == Unsafe}
+	if c.Effect == Keyed {
+		r.Within = c.Window
+		switch c.Scope {
+		case ScopeZone:
+			r.Same = func(ran, s string) bool { return w.servers[ran].Zone == w.servers[s].Zone }
+		case ScopeCell:
+			r.Same = func(ran, s string) bool { return w.servers[ran].Cell == w.servers[s].Cell }
+		}
+	}
+	return r
+}
+
+// check writes actions into the book and notes what they start.
 func (w *world) check(actions []Action) {
+	w.t.Helper()
 	w.log = append(w.log, actions...)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Attempt:
-			w.attempt(a)
+			w.book.Sent(w.d.now, a.ID, a.Server)
+			j := w.requests[a.ID]
+			j.out = a.Server
+			j.attempts++
 		case Refuse:
-			j := w.owed(a.ID, "refused")
-			if j.ran != nil && (j.class.Effect == Unsafe || j.class.Effect == Keyed && j.class.Scope != ScopeAll) {
-				w.t.Fatalf("%s refused though it may have run", a.ID)
-			}
-			j.answered = true
+			w.book.Answered(w.d.now, a.ID, rules.Refused)
+			w.requests[a.ID].over = true
 		case Fail:
-			w.owed(a.ID, "failed").answered = true
+			w.book.Answered(w.d.now, a.ID, rules.Failed)
+			w.requests[a.ID].over = true
 		case Probe:
 			if s := w.servers[a.Server]; s == nil {
 				w.t.Fatalf("probe of unknown server %s", a.Server)
@@ -92,58 +110,39 @@
 			}
 		}
 	}
-}
-
-// owed returns a request that is still owed an answer and has no attempt out.
-func (w *world) owed(id, what string) *job {
-	j := w.requests[id]
-	if j == nil || j.answered || j.open || j.out != "" {
-		w.t.Fatalf("%s %s though no answer is owed", id, what)
+	if len(w.book.Broken) > 0 {
+		w.t.Fatal(w.book.Broken)
 	}
-	return j
 }
 
-func (w *world) attempt(a Attempt) {
-	j := w.owed(a.ID, "sent")
-	s := w.servers[a.Server]
-	switch {
-	case j.attempts >= w.set.Limits.MaxAttempts:
-		w.t.Fatalf("%s sent more than %d times", a.ID, w.set.Limits.MaxAttempts)
-	case s.State != Ready && w.d.now > w.told[a.Server]+w.set.Rules.DrainGrace:
-		w.t.Fatalf("%s sent to %s, which drains or is gone", a.ID, a.Server)
-	case w.d.now > j.Deadline:
-		w.t.Fatalf("%s sent after its deadline", a.ID)
-	}
-	if r := j.ran; r != nil {
-		same := j.class.Scope == ScopeAll || j.class.Scope == ScopeZone && r.Zone == s.Zone ||
-			j.class.Scope == ScopeCell && r.Cell == s.Cell
-		if j.class.Effect == Unsafe || j.class.Effect == Keyed && (!same || w.d.now-j.ranAt > j.class.Window) {
-			w.t.Fatalf("%s sent again to %s, where its effect may come twice", a.ID, a.Server)
-		}
-	}
-	j.out = a.Server
-	j.attempts++
-}
-
-// end ends a request's attempt with a random outcome.
+// end ends a request's attempt, or its connection, with an outcome.
 func (w *world) end(j *job, o Outcome) {
 	server := j.out
 	j.out = ""
 	final := o == OK || j.open
-	if !final && o != Full && o != ConnectFailed && o != Moot && j.ran == nil {
-		j.ran, j.ranAt = w.servers[server], w.d.now
+	switch {
+	case j.open:
+	case o == OK:
+		w.book.Answered(w.d.now, j.ID, rules.Served)
+	case o == Full || o == ConnectFailed || o == Moot:
+		w.book.Ended(w.d.now, j.ID, rules.NotRun)
+	case o == Errored:
+		w.book.Ended(w.d.now, j.ID, rules.MayRun)
+	default:
+		w.book.Ended(w.d.now, j.ID, rules.NoReply)
 	}
-	j.answered = final
+	j.over = final
 	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, Load: NoLoad}))
 }
 
 func (w *world) step() {
-	switch w.rng.IntN(10) {
+	switch w.rng.IntN(11) {
 	case 0, 1, 2:
 		c := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
 		w.ids++
 		q := Request{ID: fmt.Sprint("r", w.ids), Class: c.Name, Group: fmt.Sprint("g", w.rng.IntN(4)), Deadline: w.d.now + c.Deadline}
-		w.requests[q.ID] = &job{Request: q, class: c}
+		w.requests[q.ID] = &job{Request: q}
+		w.book.Asked(w.d.now, q.ID, q.Deadline, w.repeats(c))
 		w.check(w.d.tell(q))
 	case 3, 4, 5:
 		if n := len(w.probes); n > 0 {
@@ -169,6 +168,7 @@
 				w.end(j, []Outcome{OK, Reset, Cancelled}[w.rng.IntN(3)])
 			case o == OK && w.rng.IntN(2) == 0:
 				j.open = true
+				w.book.Answered(w.d.now, j.ID, rules.Served)
 				w.check(w.d.tell(Started{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
 			default:
 				w.end(j, o)
@@ -179,35 +179,51 @@
 		s := w.servers[fmt.Sprint("s", w.rng.IntN(6))]
 		was := s.State
 		s.State = []ServerState{Ready, Ready, Draining, Gone}[w.rng.IntN(4)]
-		if s.State != Ready && was == Ready {
-			w.told[s.ID] = w.d.now
-		}
 		if s.State == Ready && was != Ready {
 			s.Started = w.d.now
 		}
 		w.list([]ListKind{ListDelta, ListFull}[w.rng.IntN(2)])
 	case 9:
 		w.pass(time.Duration(w.rng.IntN(300)) * ms)
+	case 10:
+		if j := w.requests[fmt.Sprint("r", 1+w.rng.IntN(w.ids+1))]; j != nil && !j.over && !j.open {
+			w.leave(j)
+		}
+	}
+}
+
+// leave has a request's client go at whatever stage it is: while it waits, is probed
+// for or is out. What was under way then may still be told, now or later.
+func (w *world) leave(j *job) {
+	server, try := j.out, j.attempts-1
+	j.out, j.over = "", true
+	w.book.Left(w.d.now, j.ID)
+	w.check(w.d.tell(ClientGone{ID: j.ID}))
+	if server == "" {
+		return
+	}
+	if w.rng.IntN(2) == 0 {
+		w.check(w.d.tell(Started{ID: j.ID, Attempt: try, Server: server}))
+	}
+	for range w.rng.IntN(3) {
+		o := Outcome(w.rng.IntN(8))
+		w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: try, Server: server, Outcome: o, Final: o == OK, Load: NoLoad}))
 	}
 }
 
-// pass lets time pass. At its deadline an attempt that is out times out, and
-// soon after it the answer must be there.
+// pass lets time pass. At its deadline an attempt that is out times out.
 func (w *world) pass(span time.Duration) {
 	until := w.d.now + span
 	for w.d.now < until {
 		w.check(w.d.run(w.d.now + ms))
 		for i := range w.ids {
 			j := w.requests[fmt.Sprint("r", i+1)]
-			if !j.answered && !j.open && w.d.now >= j.Deadline {
-				if j.out != "" {
-					w.end(j, TimedOut)
-				}
-				if !j.answered {
-					w.t.Fatalf("%s was not answered by its deadline", j.ID)
-				}
+			if j.out != "" && !j.open && w.d.now >= j.Deadline {
+				w.end(j, TimedOut)
 			}
 		}
+		w.book.Pass(w.d.now)
+		w.check(nil)
 	}
 }
 
@@ -233,10 +249,8 @@
 			w.step()
 		}
 		w.pass(2 * time.Second)
-		for _, j := range w.requests {
-			if !j.answered && !j.open {
-				t.Fatalf("seed %d: %s was never answered", seed, j.ID)
-			}
+		if owed := w.book.Owed(); len(owed) > 0 {
+			t.Fatalf("seed %d: never answered: %v", seed, owed)
 		}
 	}
 }
@@ -264,11 +278,16 @@
 	}
 	w.pass(2 * time.Second)
 	for i := range w.ids {
-		if j := w.requests[fmt.Sprint("r", i+1)]; j.open && !j.answered {
+		if j := w.requests[fmt.Sprint("r", i+1)]; j.open && !j.over {
 			w.end(j, OK)
 		}
 	}
 	b := w.d.b
+	for _, s := range b.servers {
+		if len(s.waiting) != 0 || len(s.conns) != 0 || s.State == Gone {
+			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waiting), len(s.conns), s.State)
+		}
+	}
 	if len(b.requests) != 0 || len(b.bySeq) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.busy != 0 || b.open != 0 {
 		t.Errorf("left: %d requests, %d numbers, %d groups, %d busy, %d open",
 			len(b.requests), len(b.bySeq), len(b.groups), b.busy, b.open)
--- a/balance/state.go
+++ b/balance/state.go
@@ -52,6 +52,7 @@
 	started    bool
 	notedAt    time.Duration // no log line before
 	bornAt     time.Duration
+	listed     bool // a list has come
 	asking     bool // a list call is out
 	subscribed bool
 	failures   int
@@ -115,7 +116,7 @@
 	ran      *server // where an attempt may have run
 	ranAt    time.Duration
 	moving   bool
-	since    time.Duration // when its connection stood
+	since    time.Duration // when it was last sent; when its connection stood
 }
 
 // check names the first setting that can't be worked with.
@@ -136,6 +137,14 @@
 	return nil
 }
 
+// until is when there is something to decide about r at the latest.
+func (r *request) until() time.Duration {
+	if r.ran != nil && r.class.Effect == Keyed {
+		return min(r.giveUp, r.ranAt+r.class.Window)
+	}
+	return r.giveUp
+}
+
 func (b *Balancer) track(q Request) *request {
 	class := b.classes[q.Class]
 	if class == nil { // unknown classes are treated as the first, but never repeated
