Tell whom the queue passed over within his aim

Seen: in congestion the newest go first, so the oldest waited until 8 ms before their client gave up and then were refused. That is a parked answer, whatever it was meant to be (balance.go enqueue).

Ruled out: that waiting pays.

Who has no turn within his class's aim is refused then, and told when to return.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -534,10 +534,20 @@
 	b.queue = append(b.queue, r)
 	b.pump()
 	if r.phase == queued {
-		b.wakeAt(r, r.until())
+		b.wakeAt(r, min(r.until(), b.now+b.turnWithin(r)))
 	}
 }
 
+// turnWithin is how long r waits for its turn: its aim. The newest go first, so that
+// whose turn has not come by then is passed over for good: it is told so at once, and
+// when to come again, instead of when its client is about to give up anyway.
+func (b *Balancer) turnWithin(r *request) time.Duration {
+	if r.class.Aim > 0 {
+		return r.class.Aim
+	}
+	return r.class.Deadline
+}
+
 // hopeless tells whether no ready server may be sent r. Then it is answered at once:
 // to wait for another server would only keep its client from asking again. Before
 // the first list all may still come.
@@ -787,7 +797,7 @@
 		default:
 			b.draw(r)
 		}
-	case queued: // its time is up, or the time of its repeats
+	case queued: // its turn has not come in time
 		b.finish(r)
 	case opened:
 		b.move(r)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -217,3 +217,22 @@
 		t.Errorf("%d probes after the pause, want 1", len(got))
 	}
 }
+
+// In a long congestion the newest go first. Who was passed over for the time of its aim
+// is told so, and when to return; it was kept until its client was about to give up.
+func TestPassedOverIsAnsweredWithinItsAim(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	d.b.congested()
+	d.b.pausedTo = d.now + 10*time.Second
+	asked := d.now
+	d.request("r")
+	for d.now < asked+2*time.Second {
+		if got := pick[Refuse](d.run(d.now + ms)); len(got) == 1 {
+			if took := d.now - asked; took > 410*ms || got[0].Pause == 0 {
+				t.Errorf("answered after %v with a pause of %v, want its aim of 400 ms and a pause", took, got[0].Pause)
+			}
+			return
+		}
+	}
+	t.Error("not answered")
+}
