Keep a newcomer to its budget by count, and serve a fleet that is all cold

Thinning keeps to the budget on average only: the wave is known when it has come, many requests wait for one answer, and a request draws up to three times (balance.go share, coldShare, consider).

The other end: with no first arrivals and nothing open the share was 0, and of 40 clients that came again 1 was placed, until the ramp was over (coldShare).

What is sent to a cold server is now counted too, over the time that the budget is for, at the draw and again when it would be sent; a few go in any case. The usual rate is of requests that were sent: of those that come, a full fleet refuses many. A node that holds nothing goes by one connection.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,9 @@
 	// together aim at. The rest is for chance, as heavy connections come in any
 	// order, and for the draws a request has beyond its first.
 	coldPart = 0.5
+	// spared is how many connections, on top of the first, a cold server's budget at
+	// one instance holds at least: what so few weigh is chance.
+	spared = 3.0
 	// relieveOver is the load above which a server sheds connections if it is
 	// also uneven times above the fleet's usual, down to that but not below
 	// relieveTo: what moves costs its client a moment and its new server a group's
@@ -187,9 +190,6 @@
 
 func (b *Balancer) arrive(q Request) {
 	r := b.track(q)
-	if !q.Returned && !q.Retry {
-		b.rate[1].add(b.now, 1)
-	}
 	// The answer must be out before the deadline; two ticks cover rounding
 	// and a batch that comes late.
 	r.giveUp = q.Deadline - 2*b.set.Tick
@@ -263,28 +263,52 @@
 func (b *Balancer) share(s *server) float64 {
 	p := 1 / (1 + s.faults.left(b.now))
 	if w := b.warmth(s); w < 1 {
+		if !b.mayTake(s) {
+			return 0
+		}
 		p *= min(w, b.coldShare(w))
 	}
 	return p
 }
 
+// mayTake tells whether one more fits into a cold server's budget at this instance.
+// Its share of the draws keeps to it on average; but a wave is known only when it has
+// come, many wait for one answer, and a request draws more than once. What was sent
+// it fades over the time that the budget is for, so that this much at once and this
+// much again in that time are the whole budget.
+func (b *Balancer) mayTake(s *server) bool {
+	w := b.warmth(s)
+	if w >= 1 {
+		return true
+	}
+	each := b.coldRate(w) / float64(max(len(b.ready), 1)) * s.sent.span.Seconds()
+	return s.sent.left(b.now) <= max(each-1, spared)
+}
+
 // coldShare is the part of its draws that a cold server of the given warmth
-// may get so that its budget holds. At its usual rate and load a fleet sends
-// a warm server rate/load of new work when it is full; a cold one can take
-// warmth times that, and falls over beyond FallMultiple times that. What is
-// sent now may be far more than usual, in a wave that returns, so the rate of
-// late is set against that of first arrivals, which no wave of ours changes.
+// may get so that its budget holds. What is sent now may be far more than usual,
+// in a wave that returns, so the rate of late is set against that of first
+// arrivals, which no wave of ours changes: of those that were sent, as more may
+// come than a full fleet can take.
 func (b *Balancer) coldShare(w float64) float64 {
-	now, usual := b.rate[0].perSecond(b.now), b.rate[1].perSecond(b.now)
-	elapsed := b.now - b.bornAt
-	usual /= 1 - decay(elapsed+time.Second, b.rate[1].span)
+	now := b.rate[0].perSecond(b.now)
 	if now <= 0 {
 		return 1
 	}
+	return b.coldRate(w) / now
+}
+
+// coldRate is the rate of placements at which each server would get what a cold one
+// of the given warmth may. At its usual rate and load a fleet sends a warm server
+// rate/load of new work when it is full; a cold one can take warmth times that, and
+// falls over beyond FallMultiple times that.
+func (b *Balancer) coldRate(w float64) float64 {
+	usual := b.rate[1].perSecond(b.now) / (1 - decay(b.now-b.bornAt+time.Second, b.rate[1].span))
 	// Where connections outlive the ramp, a server can take them faster than
-	// the usual rate: as fast as fills it within the ramp.
-	usual = max(usual, float64(b.open)/max(b.set.Rules.Ramp, settle).Seconds())
-	return coldPart * b.set.Rules.FallMultiple * w * usual / (now * max(b.usual, lowest))
+	// the usual rate: as fast as fills it within the ramp. One that holds nothing
+	// and knows no usual rate yet goes by one connection: none would serve nobody.
+	usual = max(usual, float64(max(b.open, 1))/max(b.set.Rules.Ramp, settle).Seconds())
+	return coldPart * b.set.Rules.FallMultiple * w * usual / max(b.usual, lowest)
 }
 
 // warmth estimates the share of its capacity that a server has by now.
@@ -418,7 +442,7 @@
 // does at level 0 or 1.
 func (b *Balancer) consider(r *request, s *server) bool {
 	load := b.loadOf(s)
-	if load < 0 || s.slot < 0 {
+	if load < 0 || s.slot < 0 || !b.mayTake(s) {
 		return false
 	}
 	if r.best == nil || load < r.bestLoad {
@@ -479,7 +503,7 @@
 // atHome decides for r, whose home s was probed.
 func (b *Balancer) atHome(r *request, s *server, answered bool) {
 	load := b.loadOf(s)
-	if answered && s.slot >= 0 && load >= 0 && b.level(load) <= max(1, b.level(r.bestLoad)) {
+	if answered && s.slot >= 0 && load >= 0 && b.mayTake(s) && b.level(load) <= max(1, b.level(r.bestLoad)) {
 		b.send(r, s)
 		return
 	}
@@ -512,7 +536,7 @@
 		if load < 0 {
 			load = highest
 		}
-		if s.slot >= 0 && load < least {
+		if s.slot >= 0 && load < least && b.mayTake(s) {
 			best, least = s, load
 		}
 	}
@@ -623,9 +647,10 @@
 
 // ---- attempts ----
 
-// send places r on s, unless s has left or the time of r's repeats is up meanwhile.
+// send places r on s, unless meanwhile s has left or taken all that it can, or the
+// time of r's repeats is up.
 func (b *Balancer) send(r *request, s *server) {
-	if s.slot < 0 || !b.allowed(r, s) {
+	if s.slot < 0 || !b.allowed(r, s) || !b.mayTake(s) {
 		b.enqueue(r)
 		return
 	}
@@ -633,10 +658,14 @@
 	r.at, r.wake, r.since = s, never, b.now
 	r.attempts++
 	b.rate[0].add(b.now, 1)
+	if r.attempts == 1 && !r.Returned && !r.Retry {
+		b.rate[1].add(b.now, 1)
+	}
 	if b.pause > b.set.Tick { // after congestion placements keep a distance
 		b.keepDistance()
 	}
 	s.placed.add(b.now, b.weight(r, s))
+	s.sent.add(b.now, 1)
 	b.do(Attempt{ID: r.ID, Server: s.ID})
 }
 
@@ -920,7 +949,7 @@
 			return
 		}
 		s = &server{slot: -1, load: -1, hash: hash(e.ID)}
-		s.placed.span, s.faults.span = settle, blame
+		s.placed.span, s.faults.span, s.sent.span = settle, blame, b.rate[0].span
 		b.servers[e.ID] = s
 	}
 	if e.Started > s.Started { // another process: what is known is the old one's
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"coralrelay/internal/rules"
 )
 
 // Arithmetic at its edges: whatever one report, hint or clock says, the next sound
@@ -90,6 +92,43 @@
 	}
 }
 
+// After silence of hours nothing is left of what was usual, and nothing is missed.
+func TestSilenceOfHours(t *testing.T) {
+	d := newBench(t, settings())
+	for round := range 3 {
+		d.list(ListFull, ServerEntry{ID: "a", Started: d.now}, ServerEntry{ID: "b", Started: d.now})
+		placed := 0
+		follow := func(actions []Action) {
+			for len(actions) > 0 {
+				var next []Action
+				for _, p := range pick[Probe](actions) {
+					next = append(next, d.answer(p.Server, 0.1)...)
+				}
+				for _, a := range pick[Attempt](actions) { // it does not last
+					placed++
+					next = append(next, d.tell(Started{ID: a.ID, Server: a.Server})...)
+					next = append(next, d.tell(AttemptEnded{ID: a.ID, Server: a.Server, Outcome: OK, Final: true, Load: NoLoad})...)
+				}
+				actions = next
+			}
+		}
+		for i := range 40 {
+			follow(d.tell(Request{ID: fmt.Sprint(round, " ", i), Class: "c", Returned: true, Deadline: d.now + 2*time.Second}))
+			for range 50 {
+				follow(d.run(d.now + 10*ms))
+			}
+		}
+		if placed < 10 {
+			t.Errorf("round %d: %d of 40 returned clients placed at a fleet that is cold and empty", round, placed)
+		}
+		for range 300 { // what still waits is placed or refused
+			follow(d.run(d.now + 10*ms))
+		}
+		d.run(d.now + 200*time.Second)
+		d.now += 5 * time.Hour
+	}
+}
+
 // One client's hint of 1e300 became the mean, and for thousands of requests no other
 // connection weighed anything: what was placed did not show.
 func TestOneHugeHint(t *testing.T) {
@@ -262,3 +301,32 @@
 		t.Errorf("120 ms after it may first have run: %v, want a refusal", got)
 	}
 }
+
+// A newcomer holds nothing on a rough day: its reports tempt every node at once, they
+// are late, clients come back in a wave, another server hangs. The rules' book counts
+// what all nodes together send it.
+func TestNewcomerOnARoughDay(t *testing.T) {
+	const nodes, servers, rate, load, life = 4, 8, 120.0, 0.6, 10 * time.Second // rate: first arrivals a second
+	for seed := range uint64(6) {
+		set := settings()
+		set.Instances = nodes
+		set.Rules.FallAfter = 1500 * ms
+		full := rate / load / servers // a second, for one warm server
+		book := rules.NewBook(rules.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.Ramp, ColdShare: 0.2,
+			Rate: full, Multiple: 3, Window: set.Rules.FallAfter, Chance: 2})
+		r := newRough(t, seed, set, book, nodes, servers, full*life.Seconds())
+		r.play(8*time.Second, rate, 0)       // usual
+		r.start("new")                       // with no connections
+		r.play(1500*ms, rate, 2*rate)        // and a wave that returns
+		r.hung["s1"] = true                  // and one answers nothing
+		r.play(3*time.Second, rate, rate)    //
+		r.start("s2")                        // a process replaced under its id
+		r.play(4*time.Second, rate, rate/2)  //
+		for _, broken := range book.Broken { // all rules, not the fourth alone
+			t.Errorf("seed %d: %s", seed, broken)
+		}
+		if got := len(r.conns["new"]); got < 10 {
+			t.Errorf("seed %d: the newcomer holds %d connections after 8 s", seed, got)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -71,6 +71,7 @@
 	each       float64    // load of one connection by that report, or 0
 	placed     fading     // load placed here that reports may not show yet
 	faults     fading     // errors and failed connections of late
+	sent       fading     // attempts of late
 	conns      []*request
 	relievedAt time.Duration // no moves before
 	lookAt     time.Duration // to be probed by then if it holds connections
