Answer whoever comes home to a next hop that is gone

Seen: a first line with at=ID is offered to that next hop every 100 ms until its deadline, up to 40 s, also when the roster had told that it is gone, and nobody could ever take it (decide.go backHome).

Ruled out: giving up on one that the node merely has not heard of. Before the roster's first whole list, and while the list names it, it is offered again as before.

Before: offered again after the roster had told; after: failed at once.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -60,6 +60,7 @@
 
 	// What follows belongs to Run's goroutine.
 	classes      map[string]bool
+	listed       map[string]bool // next hops that the roster names; nil until it has answered
 	transactions map[string]*entry
 	timers       timers
 	actions      []balance.Action
@@ -291,10 +292,12 @@
 // backHome goes on with a transaction whose next hop holds it already and did
 // not take it back. There is nothing to decide, and the module never heard of
 // it: it is offered again while that is harmless and there is time, as the node
-// may know its next hop only a moment later, or too many came home at once.
+// may know its next hop only a moment later, or too many came home at once. Once the
+// roster has answered and doesn't name it, nobody can take it back.
 func (c *Core) backHome(e *entry, server string, outcome balance.Outcome) {
 	next := time.Now().Add(homeAgain)
-	if outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
+	gone := c.listed != nil && !c.listed[server]
+	if gone || outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
 		c.drop(e.asked.ID)
 		e.item.Fail()
 		return
@@ -316,4 +319,30 @@
 // ---- the roster ----
 
 // Listed is told what the roster says.
-func (c *Core) Listed(u balance.ListUpdate) { c.post(func() { c.handle(u) }) }
+func (c *Core) Listed(u balance.ListUpdate) {
+	c.post(func() {
+		c.named(u)
+		c.handle(u)
+	})
+}
+
+// named notes which next hops the roster names. What the node had last may be old, and
+// doesn't count.
+func (c *Core) named(u balance.ListUpdate) {
+	switch u.Kind {
+	case balance.ListFailed, balance.ListCached:
+		return
+	case balance.ListFull:
+		c.listed = map[string]bool{}
+	}
+	if c.listed == nil {
+		return // changes to a list that has not come
+	}
+	for _, s := range u.Entries {
+		if s.State == balance.Gone {
+			delete(c.listed, s.ID)
+		} else {
+			c.listed[s.ID] = true
+		}
+	}
+}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -148,6 +148,25 @@
 	wait(t, x.done)
 }
 
+// Nobody can take back a connection whose next hop is gone: its caller hears so at
+// once. It was offered again until its deadline, up to 40 s later.
+func TestHomeThatIsGone(t *testing.T) {
+	c, p := start(t)
+	list := []balance.ServerEntry{{ID: "s1"}, {ID: "s7"}}
+	c.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
+	x := submit(c, p, Request{ID: "a", At: "s7"})
+	wait(t, p.started)
+	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+	wait(t, p.started) // it is named: its process may be back in a moment
+	c.Listed(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
+	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+	select {
+	case <-x.done:
+	case s := <-p.started:
+		t.Errorf("offered to %s again, which is gone", s)
+	}
+}
+
 // A connection may end before its branch has said that it stood: the module
 // still hears of both in order, and the id is free again.
 func TestEndToldBeforeItsStart(t *testing.T) {
