Leave a next hop that takes no lines any more

Seen by reading, then in exact time over pipes: a write of the caller's line that blocked for 5 s ended the forwarding goroutine, but the relay went on while the next hop sent. What the caller wrote from then on was read and dropped; nobody was told (relay.go forward).

Ruled out: hung next hops on TCP, whose buffers take the line; they count as silent after 1.75 s. It needs one that reads nothing, has full buffers and still sends.

Its caller is moved, as from one that is silent. Before: still relayed after a minute; after: MOVE after 5 s.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -277,3 +277,38 @@
 		}
 	}
 }
+
+// A next hop that takes no lines any more but goes on sending was kept: what its caller
+// wrote was read and dropped, and nobody was told. It is left like one that is silent.
+func TestNextHopThatTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startOn(t, net.Pipe)
+		b.up(t)
+		ticking := make(chan struct{})
+		go func() { // until either side closes it
+			defer close(ticking)
+			for {
+				if _, err := fmt.Fprint(b.hop, "tick\r\n"); err != nil {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		}()
+		go fmt.Fprint(b.caller, "are you there\r\n")
+		begun, last := time.Now(), ""
+		for time.Since(begun) < time.Minute {
+			text, err := b.fromNode.ReadString('\n')
+			if err != nil {
+				break
+			}
+			last = text
+		}
+		if took := time.Since(begun); last != "MOVE\r\n" || took > 7*time.Second {
+			t.Errorf("after %v the caller's last line is %q, want MOVE", took, last)
+		}
+		b.caller.Close()
+		b.hop.Close()
+		wait(t, b.finished)
+		<-ticking
+	})
+}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -114,6 +114,11 @@
 		// would fail every line that comes after it.
 		_ = hop.SetWriteDeadline(time.Now().Add(stall))
 		if _, err := hop.Conn.Write(line); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				// It may go on sending for hours: then the relay sees no end, and what
+				// else the caller writes would be dropped without a word.
+				t.Move()
+			}
 			return false
 		}
 		t.sent(hop)
