--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -39,6 +39,10 @@
 // Hops knows the next hops and their addresses. Its methods never block on a
 // socket.
 type Hops struct {
+	// Dial connects to an address by a deadline, over TCP unless a test has another
+	// way. Set before anything is started.
+	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
+
 	ctx    context.Context // ends every probe connection
 	limits Limits
 	watch  Watcher
@@ -62,7 +66,7 @@
 
 // New returns Hops without any next hop; their probe connections end with ctx.
 func New(ctx context.Context, l Limits) *Hops {
-	return &Hops{ctx: ctx, limits: l, hops: map[string]*hop{}}
+	return &Hops{Dial: dial, ctx: ctx, limits: l, hops: map[string]*hop{}}
 }
 
 // Watch names who is told; call it before anything is started.
@@ -247,6 +251,10 @@
 	if most := time.Now().Add(h.limits.Connect); h.limits.Connect > 0 && most.Before(deadline) {
 		deadline = most
 	}
+	return h.Dial(ctx, addr, deadline)
+}
+
+func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
 	return d.DialContext(ctx, "tcp", addr)
 }
--- /dev/null
+++ b/internal/rules/scene_test.go
@@ -0,0 +1,431 @@
+package rules_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+	"coralrelay/internal/rules"
+)
+
+const ms = time.Millisecond
+
+// room is how many connections fill a feed server, and life how long one lasts on
+// average: together they say how fast a server can take new ones.
+const room, life = 40, 3 * time.Second
+
+// scene is a node, from its listener to its branches, between clients, feed servers
+// and a roster that are in trouble most of the time. Connections are pipes and time is
+// the bubble's, so that what happens at once happens at one time. The book is kept
+// from outside: by what clients and feed servers see.
+type scene struct {
+	t     *testing.T
+	begun time.Time
+	core  *decide.Core
+	hops  *nexthop.Hops
+	front chan net.Conn // to the node's listener
+	ends  sync.WaitGroup
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	book  *rules.Book
+	feeds map[string]*feed
+	ids   int
+	over  map[string]int // how requests were answered
+
+	kind kind
+}
+
+// kind is what is in trouble.
+type kind int
+
+const (
+	flapping kind = iota // servers come and go, refuse and break off
+	hanging              // the same, and connections may take their time
+	crowded              // a full fleet, one of whose servers starts anew, cold and empty
+)
+
+// feed is a feed server as the scene has it.
+type feed struct {
+	id    string
+	conns map[net.Conn]bool // that stand
+	entry roster.Entry
+}
+
+// chance and upTo draw under the lock; two runs of a seed differ in their order only.
+func (s *scene) chance(p float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < p
+}
+
+func (s *scene) upTo(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.rng.Int64N(int64(d)/int64(ms)+1)) * ms // whole ones: much comes at one time
+}
+
+func (s *scene) note(f func(b *rules.Book, now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.book, time.Since(s.begun))
+}
+
+// listener hands the node what clients dial.
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l listener) Close() error { close(l.done); return nil }
+func (listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+type noRoster struct{}
+
+func (noRoster) Subscribe() {}
+
+// ---- feed servers ----
+
+// attempt is the node's end of a connection to a feed server. An attempt is out until
+// its server has answered or the node has closed it.
+type attempt struct {
+	net.Conn
+	s    *scene
+	id   string // under the lock; empty until its first line has come, or if it probes
+	done bool
+}
+
+// over notes the attempt's end, once.
+func (a *attempt) over(how rules.End) {
+	a.s.note(func(b *rules.Book, now time.Duration) {
+		if a.id != "" && !a.done {
+			a.done = true
+			b.Ended(now, a.id, how)
+		}
+	})
+}
+
+func (a *attempt) Close() error {
+	a.over(rules.NoReply)
+	return a.Conn.Close()
+}
+
+var errRefused = errors.New("connection refused")
+
+func (s *scene) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	switch {
+	case s.kind != crowded && s.chance(0.06):
+		return nil, errRefused
+	case s.kind == hanging && s.chance(0.05): // nothing comes back
+		late := time.NewTimer(time.Until(deadline))
+		defer late.Stop()
+		select {
+		case <-ctx.Done():
+		case <-late.C:
+		}
+		return nil, context.DeadlineExceeded
+	}
+	near, far := net.Pipe()
+	a := &attempt{Conn: near, s: s}
+	s.ends.Go(func() { s.serve(addr, far, a) })
+	return a, nil
+}
+
+// serve is a feed server's side of one connection.
+func (s *scene) serve(server string, conn net.Conn, a *attempt) {
+	defer conn.Close()
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		text := lines.Text()
+		switch word, rest, _ := strings.Cut(text, " "); word {
+		case "STATS":
+			if !s.report(server, conn) {
+				return
+			}
+		case "OPEN":
+			id, _, _ := strings.Cut(rest, " ")
+			s.note(func(b *rules.Book, now time.Duration) {
+				a.id = id
+				b.Sent(now, id, server)
+			})
+			if !s.open(server, conn, a) {
+				return
+			}
+		default:
+			fmt.Fprintf(conn, "yes\r\n")
+		}
+	}
+}
+
+// report answers a probe, now and then late, never, or with what can't be true.
+func (s *scene) report(server string, conn net.Conn) bool {
+	s.mu.Lock()
+	conns := len(s.feeds[server].conns)
+	s.mu.Unlock()
+	x0 := fmt.Sprint(float64(conns) / room)
+	switch {
+	case s.chance(0.05):
+		time.Sleep(600 * ms)
+	case s.chance(0.05):
+		return false
+	case s.chance(0.05):
+		x0 = "18446744073709551615"
+	}
+	time.Sleep(s.upTo(4 * ms))
+	_, err := fmt.Fprintf(conn, "PONG outstanding=%d,x0=%s,recent_ms=2\r\n", conns, x0)
+	return err == nil
+}
+
+// open answers a first line, and serves what then stands. It is false at its end.
+func (s *scene) open(server string, conn net.Conn, a *attempt) bool {
+	time.Sleep(s.upTo(60 * ms))
+	switch {
+	case s.kind == crowded: // all that it is sent, which is the point
+	case s.chance(0.12):
+		a.over(rules.NotRun)
+		fmt.Fprintf(conn, "BUSY\r\n")
+		return false
+	case s.chance(0.06):
+		a.over(rules.MayRun)
+		fmt.Fprintf(conn, "ERR\r\n")
+		return false
+	case s.chance(0.05):
+		a.over(rules.NoReply)
+		return false
+	case s.chance(0.05): // hangs until the node has enough of it
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	}
+	if _, err := fmt.Fprintf(conn, "UP r1\r\n"); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.feeds[server].conns[conn] = true
+	s.mu.Unlock()
+	lasts := s.upTo(2 * life)
+	s.ends.Go(func() { // its end, unless the other side's comes before
+		time.Sleep(lasts)
+		if s.chance(0.5) {
+			_ = conn.SetWriteDeadline(time.Now().Add(ms))
+			fmt.Fprintf(conn, "BYE\r\n")
+		}
+		conn.Close()
+		s.mu.Lock()
+		delete(s.feeds[server].conns, conn)
+		s.mu.Unlock()
+	})
+	return true
+}
+
+// ---- the roster ----
+
+func (s *scene) tell(kind balance.ListKind, entries ...roster.Entry) {
+	states := map[balance.ServerState]rules.State{balance.Ready: rules.Ready, balance.Draining: rules.Leaving, balance.Gone: rules.Gone}
+	s.note(func(b *rules.Book, now time.Duration) {
+		for _, e := range entries {
+			started := e.Started
+			if started > 0 { // on the book's clock
+				started -= time.Duration(s.begun.UnixNano())
+			}
+			b.Told(now, e.ID, states[e.State], started)
+		}
+	})
+	u := roster.Update{Kind: kind, Entries: entries}
+	s.hops.Update(kind != balance.ListDelta, entries, time.Now())
+	s.core.Listed(u.List())
+}
+
+// trouble changes one server's state: it drains, goes, comes back as it was or as a
+// new process.
+func (s *scene) trouble() {
+	s.mu.Lock()
+	f := s.feeds[fmt.Sprint("s", s.rng.IntN(len(s.feeds)))]
+	e := &f.entry
+	e.State = []balance.ServerState{balance.Ready, balance.Ready, balance.Ready, balance.Draining, balance.Gone}[s.rng.IntN(5)]
+	if e.State == balance.Ready && s.rng.IntN(10) == 0 {
+		e.Started = time.Duration(time.Now().UnixNano())
+	}
+	told := *e
+	s.mu.Unlock()
+	s.tell(balance.ListDelta, told)
+}
+
+// restart has a server's process end, with all that it holds, and another start.
+func (s *scene) restart(id string) {
+	s.mu.Lock()
+	f := s.feeds[id]
+	for conn := range f.conns {
+		conn.Close()
+	}
+	clear(f.conns)
+	f.entry.Started = time.Duration(time.Now().UnixNano())
+	told := f.entry
+	s.mu.Unlock()
+	s.tell(balance.ListDelta, told)
+}
+
+// ---- clients ----
+
+// client is one request, as its client sees it.
+func (s *scene) client(leaves bool) {
+	s.mu.Lock()
+	s.ids++
+	id := fmt.Sprint("r", s.ids)
+	s.mu.Unlock()
+	wait := 200*ms + s.upTo(800*ms)
+	near, far := net.Pipe()
+	defer far.Close()
+	s.note(func(b *rules.Book, now time.Duration) { b.Asked(now, id, now+wait, rules.Repeats{}) })
+	s.front <- near
+	if _, err := fmt.Fprintf(far, "OPEN %s k c=feed,d=%d\r\n", id, wait.Milliseconds()); err != nil {
+		s.t.Errorf("%s: %v", id, err)
+	}
+	if leaves {
+		gone := time.AfterFunc(s.upTo(100*ms), func() {
+			s.note(func(b *rules.Book, now time.Duration) { b.Left(now, id) })
+			far.Close()
+		})
+		defer gone.Stop()
+	}
+	standing := false
+	for lines := bufio.NewScanner(far); lines.Scan(); {
+		switch word, _, _ := strings.Cut(lines.Text(), " "); {
+		case standing:
+			if lines.Text() == "yes" {
+				time.Sleep(300 * ms)
+				_ = far.SetWriteDeadline(time.Now().Add(time.Second))
+				fmt.Fprintf(far, "are you there\r\n")
+			}
+		case word == "UP":
+			standing = true
+			s.answered(id, "served", rules.Served)
+			_ = far.SetWriteDeadline(time.Now().Add(time.Second))
+			fmt.Fprintf(far, "are you there\r\n")
+		case word == "BUSY":
+			s.answered(id, "refused", rules.Refused)
+		default:
+			s.answered(id, "failed", rules.Failed)
+		}
+	}
+}
+
+func (s *scene) answered(id, how string, a rules.Answer) {
+	s.note(func(b *rules.Book, now time.Duration) {
+		b.Answered(now, id, a)
+		s.over[how]++
+	})
+}
+
+// play runs a scene to its end and returns it.
+func play(t *testing.T, seed uint64, k kind) *scene {
+	const span, connect = 30 * time.Second, 250 * ms
+	feeds, pause, prompt, rate := 4, 60*ms, time.Duration(0), 0.0
+	switch k {
+	case hanging: // nobody outside sees an attempt before its connection is there
+		prompt = connect
+	case crowded:
+		feeds, pause, rate = 6, 20*ms, room/life.Seconds()
+	}
+	set := balance.Settings{Instances: 1, Tick: 4 * ms, ListAsked: true, AskWithin: 10 * time.Second,
+		Classes: []balance.Class{{Name: "feed", Aim: 300 * ms, Deadline: time.Second}},
+		Rules:   balance.Rules{DrainGrace: 300 * ms, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: 1500 * ms},
+		Limits:  balance.Limits{Probes: true, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: time.Second},
+		Reports: balance.Reports{ByProbe: true}}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &scene{t: t, begun: time.Now(), front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
+		feeds: map[string]*feed{}, over: map[string]int{},
+		kind: k,
+		book: rules.NewBook(rules.Terms{Attempts: 4, Drain: 300 * ms, Prompt: prompt, Ramp: 20 * time.Second,
+			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
+	s.hops = nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+	s.hops.Dial = s.dial
+	core, err := decide.New(decide.NewClock(), seed, set, s.hops, noRoster{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.core = core
+	s.hops.Watch(core)
+	var node sync.WaitGroup
+	node.Go(func() { core.Run(ctx) })
+	server := caller.New(core, s.hops, caller.Limits{Sockets: 1000})
+	door := listener{s.front, make(chan struct{})}
+	node.Go(func() { _ = server.Serve(door) })
+
+	var list []roster.Entry
+	for i := range feeds {
+		f := &feed{id: fmt.Sprint("s", i), conns: map[net.Conn]bool{}}
+		f.entry = roster.Entry{Addr: f.id, ServerEntry: balance.ServerEntry{ID: f.id}}
+		s.feeds[f.id] = f
+		list = append(list, f.entry)
+	}
+	s.tell(balance.ListFull, list...)
+	var clients sync.WaitGroup
+	started := false
+	for time.Since(s.begun) < span {
+		time.Sleep(s.upTo(pause))
+		switch {
+		case k == crowded && !started && time.Since(s.begun) > span/3:
+			started = true
+			s.restart("s0")
+		case k == crowded || s.chance(0.9):
+			leaves := s.chance(0.2)
+			clients.Go(func() { s.client(leaves) })
+		default:
+			s.trouble()
+		}
+		s.note((*rules.Book).Pass)
+	}
+	time.Sleep(3 * time.Second) // all that was asked is due by then
+	s.note((*rules.Book).Pass)
+	for _, id := range s.book.Owed() {
+		t.Errorf("%s was never answered", id)
+	}
+	_ = door.Close()
+	server.Close()
+	clients.Wait()
+	cancel()
+	node.Wait()
+	s.ends.Wait()
+	return s
+}
+
+// The rules hold from the listener to the feed servers' sockets, whatever the order of
+// probes, answers, drains, cancels and ends. That the bubble ends shows that nothing
+// of the node outlives it.
+func TestNodeKeepsTheRules(t *testing.T) {
+	for name, k := range map[string]kind{"flapping": flapping, "hanging": hanging, "crowded": crowded} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := play(t, seed, k)
+					for _, broken := range s.book.Broken {
+						t.Error(broken)
+					}
+					if s.over["served"] < 60 || s.over["refused"] < 50 {
+						t.Errorf("too calm to tell anything: %v", s.over)
+					}
+				})
+			})
+		}
+	}
+}
