Give the probes of a class without an aim half of its deadline

Seen by reading: patience was half of the aim over the draws, so a class that names none left each probe one tick. Every server was passed over before it could answer, and the request went to one by hearsay (balance.go patience).

Ruled out: the platform, whose classes all have an aim; nothing changes there.

Before: after 1 ms the second server is probed and the request sent with no answer in; after: it waits and the answer places it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -340,7 +340,7 @@
 // all draws fit into half of its aim. A server that needs longer is skipped:
 // it is dead, cut off or busy.
 func (b *Balancer) patience(r *request) time.Duration {
-	most := r.class.Aim / (2 * trials)
+	most := b.turnWithin(r) / (2 * trials)
 	if b.rtt == 0 {
 		return most
 	}
@@ -562,7 +562,7 @@
 	}
 }
 
-// turnWithin is how long r waits for its turn: its aim. The newest go first, so that
+// turnWithin is how long r waits for its turn: its aim, or else its deadline. The newest go first, so that
 // whose turn has not come by then is passed over for good: it is told so at once, and
 // when to come again, instead of when its client is about to give up anyway.
 func (b *Balancer) turnWithin(r *request) time.Duration {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -236,3 +236,18 @@
 	}
 	t.Error("not answered")
 }
+
+// A class that names no aim left its probes no time at all: every server was passed over
+// before it could answer, and the draws told nothing.
+func TestProbesWithoutAnAim(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = 0
+	d := newBench(t, set, "a", "b")
+	asked := pick[Probe](d.request("r"))
+	if got := d.run(d.now + 5*ms); len(got) != 0 {
+		t.Errorf("after 5 ms: %v, want to wait for %s", got, asked[0].Server)
+	}
+	if got := pick[Attempt](d.answer(asked[0].Server, 0.1)); len(got) != 1 {
+		t.Errorf("placed by its answer: %v, want one attempt", got)
+	}
+}
