--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -142,9 +142,6 @@
 // Key is the flow's at a valid place.
 func (t *Table) Key(r Ref) Key { return t.entries[r.Index].key }
 
-// Last is when the flow at a valid place was last heard of.
-func (t *Table) Last(r Ref) time.Duration { return t.entries[r.Index].last }
-
 // Settled tells whether the flow at a valid place has settled.
 func (t *Table) Settled(r Ref) bool { return t.entries[r.Index].settled }
 
