Bound hints from below too, and refuse those beyond any load

A first line with h=1e300 was taken (line.go set).

Ruled out: hints within a sixteenth and sixteen times the mean; they weigh as before.

A hint counts a sixteenth of the mean at least, and a first line whose h is over 1e9 - a thousand cores in microseconds a second - is answered as one that can't be read.

--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -156,6 +156,18 @@
 	}
 }
 
+// Where it came first it was the mean itself, and the others still weighed nothing.
+func TestHugeHintComesFirst(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
+		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", Hint: hint, Deadline: d.now + time.Second})
+		if w := d.b.weight(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
+			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
+		}
+	}
+}
+
 // The first hint after a hundred connections without one counted 1/64 of itself as
 // the mean, and its connection weighed 64 times what it should.
 func TestFirstHint(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -162,7 +162,7 @@
 			b.hint = q.Hint
 		}
 		b.hints = min(b.hints+1, 64)
-		r.heft = min(q.Hint/b.hint, heaviest)
+		r.heft = min(max(q.Hint/b.hint, 1/heaviest), heaviest)
 		b.hint += (r.heft - 1) * b.hint / b.hints
 	}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -27,6 +27,10 @@
 // longestWait bounds d; beyond it a duration would overflow.
 const longestWait = 24 * time.Hour
 
+// heaviest bounds h. In microseconds of work a second, the finest unit that loads come
+// in, it is a thousand cores.
+const heaviest = 1e9
+
 // Open is a first line that opens a connection.
 type Open struct {
 	ID, Key, Class, Group, At string
@@ -94,8 +98,8 @@
 		o.Again = value == "1"
 	case "h":
 		h, err := number(value)
-		if err == nil && h < 0 {
-			err = fmt.Errorf("%.40q is negative", value)
+		if err == nil && (h < 0 || h > heaviest) {
+			err = fmt.Errorf("%.40q is out of range", value)
 		}
 		o.Hint = h
 		return err
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -34,6 +34,7 @@
 		{"wait is no decimal", "OPEN 9b k1 c=chat,d=0x1p4", Open{}},
 		{"class twice", "OPEN 9b k1 c=chat,d=1,c=feed", Open{}},
 		{"hint is negative", "OPEN 9b k1 c=chat,d=1,h=-1", Open{}},
+		{"hint is beyond any load", "OPEN 9b k1 c=chat,d=1,h=1e300", Open{}},
 		{"hint is infinite", "OPEN 9b k1 c=chat,d=1,h=Inf", Open{}},
 		{"no value", "OPEN 9b k1 c=chat,d=1,g", Open{}},
 		{"extra word", "OPEN 9b k1 c=chat,d=1 x", Open{}},
