Let a new process have a cold budget of its own, and wait for a list that names anybody

Seen while reading the mends again: what was sent to the old process under an id still counted against the new one's budget (balance.go entry); an empty change before the first whole list counted as a list, and requests were refused for it (listUpdate); who is answered as hopeless is looked at once more before (giveUpHopeless).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,7 +36,8 @@
 	// capacity, and connections on one server. Believed, one such reading would pass
 	// as low where it is cut into levels, or make connections weigh nothing.
 	absurd, mostConns = 1000.0, 1e7
-	// heaviest is what a connection counts at most, as a multiple of the mean.
+	// heaviest is what a connection counts at most by its hint, as a multiple of the
+	// mean, and the least is one part of as many.
 	heaviest = 16.0
 	// settle is how long a placed connection may be missing from a report.
 	settle = time.Second
@@ -562,9 +563,10 @@
 	}
 }
 
-// turnWithin is how long r waits for its turn: its aim, or else its deadline. The newest go first, so that
-// whose turn has not come by then is passed over for good: it is told so at once, and
-// when to come again, instead of when its client is about to give up anyway.
+// turnWithin is how long r waits for its turn: its aim, or else its deadline. The
+// newest go first, so that whose turn has not come by then is passed over for good: it
+// is told so at once, and when to come again, instead of when its client is about to
+// give up anyway.
 func (b *Balancer) turnWithin(r *request) time.Duration {
 	if r.class.Aim > 0 {
 		return r.class.Aim
@@ -590,7 +592,7 @@
 	// Not in the map's order.
 	slices.SortFunc(left, func(r, o *request) int { return cmp.Compare(r.seq, o.seq) })
 	for _, r := range left {
-		if r.phase != ended { // one answered before may have given it its turn
+		if r.phase == queued || r.phase == drawing { // another's end may have brought its own
 			b.finish(r)
 		}
 	}
@@ -914,7 +916,7 @@
 	if e.Kind != ListDelta {
 		b.dropUnlisted(e.Entries)
 	}
-	b.listed = b.listed || e.Kind != ListCached || len(e.Entries) > 0
+	b.listed = b.listed || e.Kind == ListFull || len(e.Entries) > 0
 	none := len(b.ready) == 0
 	for _, entry := range e.Entries {
 		b.entry(entry)
@@ -953,7 +955,8 @@
 		b.servers[e.ID] = s
 	}
 	if e.Started > s.Started { // another process: what is known is the old one's
-		s.load, s.each, s.placed.sum, s.faults.sum, s.probing = -1, 0, 0, 0, false
+		s.load, s.each, s.probing = -1, 0, false
+		s.placed.sum, s.faults.sum, s.sent.sum = 0, 0, 0
 	}
 	wasDraining := s.State == Draining
 	s.ServerEntry = e
