Take back the weight of a placement that came to nothing

Seen: what was sent counted on its server for a second, also when the connection had failed or was refused (balance.go send, loadOf). After four that could not connect, a server at load 0.4 looked full and the fifth was held.

What an attempt weighed goes when it has ended without standing. Before: the fifth is held; after: load 0.40 as reported.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -666,7 +666,8 @@
 	if b.pause > b.set.Tick { // after congestion placements keep a distance
 		b.keepDistance()
 	}
-	s.placed.add(b.now, b.weight(r, s))
+	r.weight = b.weight(r, s)
+	s.placed.add(b.now, r.weight)
 	s.sent.add(b.now, 1)
 	b.do(Attempt{ID: r.ID, Server: s.ID})
 }
@@ -739,6 +740,9 @@
 func (b *Balancer) failed(r *request, o Outcome) {
 	s := r.at
 	r.at = nil
+	if s != nil { // it has come to nothing, and weighs nothing there
+		s.placed.add(b.now, -r.weight*decay(b.now-r.since, s.placed.span))
+	}
 	again := true
 	switch o {
 	case Full, ConnectFailed, Moot:
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -251,3 +251,27 @@
 		t.Errorf("placed by its answer: %v, want one attempt", got)
 	}
 }
+
+// What was refused weighed on its server for a second all the same, as if it had been
+// placed: a server that could serve the next looked fuller with each.
+func TestWhatFailedWeighsNothing(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	l := NoLoad
+	l.X0, l.Inflight = 0.4, 8
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	before := d.b.loadOf(d.b.servers["a"])
+	for i := range 5 {
+		id := string(rune('a' + i))
+		d.request(id)
+		if sent := pick[Attempt](d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})); len(sent) != 1 {
+			t.Fatalf("request %d was not sent", i)
+		}
+		d.now += 20 * ms
+		d.tell(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, Load: NoLoad})
+		d.run(d.now + time.Second/4)
+	}
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	if got := d.b.loadOf(d.b.servers["a"]); got > before+0.01 {
+		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -114,6 +114,7 @@
 	at       *server // where its attempt or connection is
 	place    int     // index in at.conns while opened
 	heft     float64 // its hint over the mean of hints, or 1
+	weight   float64 // what it counted as placed when it was last sent
 	ran      *server // where an attempt may have run
 	ranAt    time.Duration
 	moving   bool
