Thin faulty servers against the one with the fewest faults

Seen: faults thinned a server's draws whatever the others had (balance.go share). With twenty faults on each of four sound servers most draws were void, a round in five ended with none, that counted as congestion, and the fourth request was held.

Before: request 3 of 100 held; after: all placed, and one with 200 faults more than the rest is left less than a tenth of its draws.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -260,9 +260,10 @@
 	return nil
 }
 
-// share is the part of its draws that a server is left with.
+// share is the part of its draws that a server is left with. Faults count against the
+// server that has the fewest: where all have some, none is better left out.
 func (b *Balancer) share(s *server) float64 {
-	p := 1 / (1 + s.faults.left(b.now))
+	p := min((1+b.faults)/(1+s.faults.left(b.now)), 1)
 	if w := b.warmth(s); w < 1 {
 		if !b.mayTake(s) {
 			return 0
@@ -846,7 +847,11 @@
 	}
 	b.houseAt = b.now + house
 	b.do(SetTimer{Delay: house})
-	for _, s := range b.ready {
+	b.faults = 0
+	for i, s := range b.ready {
+		if f := s.faults.left(b.now); i == 0 || f < b.faults {
+			b.faults = f
+		}
 		if len(s.conns) > 0 && b.now >= s.lookAt && b.probesTell() {
 			b.probe(s)
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -275,3 +276,28 @@
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
 }
+
+// Where every server had a few faults most draws were void, a fifth of the rounds ended
+// with none, and that counted as congestion: placements paused although all could serve.
+func TestMostlyFaultyFleetStillServes(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c", "d")
+	for _, s := range d.b.ready {
+		for range 20 {
+			d.b.fault(s)
+		}
+	}
+	d.run(d.now + time.Second)
+	for i := range 100 {
+		if _, at := drawsUntilPlaced(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}); at == "" {
+			t.Fatalf("request %d is held", i)
+		}
+	}
+	if share := func(n int) float64 { // one that is worse than the rest is still left out
+		for range n {
+			d.b.fault(d.b.ready[0])
+		}
+		return d.b.share(d.b.ready[0])
+	}(200); share > 0.1 {
+		t.Errorf("the worst is left %.2f of its draws", share)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -43,6 +43,7 @@
 	answers float64       // how many answers it is taken from
 	rtt     float64       // usual time of a probe, seconds
 	rttDev  float64       // and its mean deviation
+	faults  float64       // of the ready server that had the fewest of late
 	rate    [2]fading     // placements a second: of late, and usual
 	hint    float64       // mean hint of connections
 	hints   float64       // how many it is taken from
