--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -28,7 +28,7 @@
 const group = 512
 
 // dying is how long a node that was killed may take to let its file go. Its next start
-// would serve without a ledger otherwise.
+// would end otherwise, as one of two nodes with one folder.
 const dying = time.Second
 
 // waiting is how many presentations may wait for that; beyond it they are told
