Say once which server may take one more, and what tests of one package share

Reading the whole change again: that a server is still ready stood beside the cold budget in four places (consider, atHome, remembered, send); mayTake now says both.

Behaviour and assertions stay.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -273,15 +273,15 @@
 	return p
 }
 
-// mayTake tells whether one more fits into a cold server's budget at this instance.
-// Its share of the draws keeps to it on average; but a wave is known only when it has
-// come, many wait for one answer, and a request draws more than once. What was sent
-// it fades over the time that the budget is for, so that this much at once and this
-// much again in that time are the whole budget.
+// mayTake tells whether s may be sent one more: it is ready and, while it is cold, its
+// budget at this instance holds one more. Its share of the draws keeps to the budget on
+// average; but a wave is known only when it has come, many wait for one answer, and a
+// request draws more than once. What was sent it fades over the time that the budget is
+// for, so that this much at once and this much again in that time are the whole budget.
 func (b *Balancer) mayTake(s *server) bool {
 	w := b.warmth(s)
-	if w >= 1 {
-		return true
+	if s.slot < 0 || w >= 1 {
+		return s.slot >= 0
 	}
 	each := b.coldRate(w) / float64(max(len(b.ready), 1)) * s.sent.span.Seconds()
 	return s.sent.left(b.now) <= max(each-1, spared)
@@ -444,7 +444,7 @@
 // does at level 0 or 1.
 func (b *Balancer) consider(r *request, s *server) bool {
 	load := b.loadOf(s)
-	if load < 0 || s.slot < 0 || !b.mayTake(s) {
+	if load < 0 || !b.mayTake(s) {
 		return false
 	}
 	if r.best == nil || load < r.bestLoad {
@@ -505,7 +505,7 @@
 // atHome decides for r, whose home s was probed.
 func (b *Balancer) atHome(r *request, s *server, answered bool) {
 	load := b.loadOf(s)
-	if answered && s.slot >= 0 && load >= 0 && b.mayTake(s) && b.level(load) <= max(1, b.level(r.bestLoad)) {
+	if answered && load >= 0 && b.mayTake(s) && b.level(load) <= max(1, b.level(r.bestLoad)) {
 		b.send(r, s)
 		return
 	}
@@ -538,7 +538,7 @@
 		if load < 0 {
 			load = highest
 		}
-		if s.slot >= 0 && load < least && b.mayTake(s) {
+		if load < least && b.mayTake(s) {
 			best, least = s, load
 		}
 	}
@@ -653,7 +653,7 @@
 // send places r on s, unless meanwhile s has left or taken all that it can, or the
 // time of r's repeats is up.
 func (b *Balancer) send(r *request, s *server) {
-	if s.slot < 0 || !b.allowed(r, s) || !b.mayTake(s) {
+	if !b.mayTake(s) || !b.allowed(r, s) {
 		b.enqueue(r)
 		return
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -257,8 +257,7 @@
 // placed: a server that could serve the next looked fuller with each.
 func TestWhatFailedWeighsNothing(t *testing.T) {
 	d := newBench(t, settings(), "a")
-	l := NoLoad
-	l.X0, l.Inflight = 0.4, 8
+	l := report(0.4, 8)
 	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
 	before := d.b.loadOf(d.b.servers["a"])
 	for i := range 5 {
@@ -292,12 +291,11 @@
 			t.Fatalf("request %d is held", i)
 		}
 	}
-	if share := func(n int) float64 { // one that is worse than the rest is still left out
-		for range n {
-			d.b.fault(d.b.ready[0])
-		}
-		return d.b.share(d.b.ready[0])
-	}(200); share > 0.1 {
+	worst := d.b.ready[0] // one that is worse than the rest is still left out
+	for range 200 {
+		d.b.fault(worst)
+	}
+	if share := d.b.share(worst); share > 0.1 {
 		t.Errorf("the worst is left %.2f of its draws", share)
 	}
 }
--- a/balance/rough_test.go
+++ b/balance/rough_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,14 +118,8 @@
 
 // refresh renews the reports every 200 ms.
 func (r *rough) refresh() {
-	for i := range 20 {
-		for _, id := range []string{fmt.Sprint("s", i), "new"} {
-			if r.servers[id] != nil {
-				l := NoLoad
-				l.X0, l.Inflight = r.loadOf(id)*(0.9+0.2*r.rng.Float64()), float64(len(r.conns[id]))
-				r.shown[id] = l
-			}
-		}
+	for _, id := range slices.Sorted(maps.Keys(r.servers)) { // not in the map's order
+		r.shown[id] = report(r.loadOf(id)*(0.9+0.2*r.rng.Float64()), float64(len(r.conns[id])))
 	}
 	r.in(200*ms, r.refresh)
 }
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/nexthop/nexthop_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// start returns Hops that know one next hop, which serves each connection with f.
-func start(t *testing.T, f func(net.Conn)) (*Hops, watcher, string) {
+// listen serves each connection with f until the test ends.
+func listen(t *testing.T, f func(net.Conn)) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,11 +68,18 @@
 			go func() { defer conn.Close(); f(conn) }()
 		}
 	}()
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// start returns Hops that know one next hop, which serves each connection with f.
+func start(t *testing.T, f func(net.Conn)) (*Hops, watcher, string) {
+	t.Helper()
+	addr := listen(t, f)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(func() { cancel(); l.Close() })
+	t.Cleanup(cancel)
 	h, w := New(ctx, Limits{Connect: patience, Probe: 300 * time.Millisecond, Drain: 300 * time.Millisecond}), make(watcher, 16)
 	h.Watch(w)
-	addr := l.Addr().String()
 	h.Update(true, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
 	return h, w, addr
 }
@@ -215,29 +222,14 @@
 	}
 }
 
-// stats serves load reports on a listener of its own until the test ends.
+// stats serves load reports on a listener of its own.
 func stats(t *testing.T, x0 string) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for lines := bufio.NewScanner(conn); lines.Scan(); {
-					fmt.Fprintf(conn, "PONG x0=%s\r\n", x0)
-				}
-			}()
+	return listen(t, func(conn net.Conn) {
+		for lines := bufio.NewScanner(conn); lines.Scan(); {
+			fmt.Fprintf(conn, "PONG x0=%s\r\n", x0)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // A process that took an id over at another address was judged by the one that had
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -240,14 +240,13 @@
 // ---- the roster ----
 
 func (s *scene) tell(kind balance.ListKind, entries ...roster.Entry) {
-	states := map[balance.ServerState]rules.State{balance.Ready: rules.Ready, balance.Draining: rules.Leaving, balance.Gone: rules.Gone}
 	s.note(func(b *rules.Book, now time.Duration) {
 		for _, e := range entries {
 			started := e.Started
 			if started > 0 { // on the book's clock
 				started -= time.Duration(s.begun.UnixNano())
 			}
-			b.Told(now, e.ID, states[e.State], started)
+			b.Told(now, e.ID, rules.State(e.State), started)
 		}
 	})
 	u := roster.Update{Kind: kind, Entries: entries}
