Add the operators' front, and let a successor take over the clients' listener

Now the listener is the inherited descriptor, checked to be one that listens, and only ever closed; a process says yes once it accepts and has a list, or 2 s later by the list it had. With a successor beside it, told by a lock in TMPDIR, the old one closes its copy at SIGTERM, serves who was accepted and moves the rest evenly.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -126,9 +125,11 @@
 
 // fleet passes a list on: first the addresses, then the decision.
 type fleet struct {
-	hops *nexthop.Hops
-	core *decide.Core
-	udp  *udp.Front // nil where it is off
+	hops  *nexthop.Hops
+	core  *decide.Core
+	udp   *udp.Front    // nil where it is off
+	known chan struct{} // closed once discovery has said who is there
+	once  sync.Once
 }
 
 func (f *fleet) Listed(u roster.Update) {
@@ -143,6 +144,9 @@
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
 	}
 	f.core.Listed(u.List())
+	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
+		f.once.Do(func() { close(f.known) })
+	}
 	if f.udp != nil {
 		f.udp.Look()
 	}
@@ -158,7 +162,7 @@
 
 	hops := nexthop.New(ctx, nexthop.Limits{Connect: c.Settings.Limits.ConnectTimeout, Probe: probeWait,
 		Drain: c.Settings.Rules.DrainGrace})
-	lists := &fleet{hops: hops}
+	lists := &fleet{hops: hops, known: make(chan struct{})}
 	watch := roster.New(c.Discovery, lists)
 	core, err := decide.New(decide.NewClock(), c.Seed, c.Settings, hops, watch)
 	if err != nil {
@@ -173,12 +177,21 @@
 	if lists.udp != nil {
 		sockets = max(sockets-own.UDP.Sockets, leastSockets)
 	}
-	listener, err := net.Listen("tcp", c.Listen)
+	listener, err := clientsListener(c)
+	if err != nil {
+		return err
+	}
+	place, err := takePlace(c, os.TempDir())
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
+	}
+	defer place.Close()
+	limits := caller.Limits{Sockets: sockets - min(spareSockets, sockets/4), Pause: pause(c.Settings.Limits)}
+	if place != nil {
+		limits.Share = place.Share
+		parts.Go(func() { shareMemory(ctx, place, c.Limits) })
 	}
-	server := caller.New(core, hops, caller.Limits{Sockets: sockets - min(spareSockets, sockets/4),
-		Pause: pause(c.Settings.Limits)})
+	server := caller.New(core, hops, limits)
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
 		return err
@@ -186,6 +199,9 @@
 	if resume != nil {
 		server.Continuities = resume.sessions
 	}
+	if err := startMgmt(ctx, &parts, c.Mgmt, operations{server}); err != nil {
+		return err
+	}
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
 	parts.Go(func() {
@@ -193,6 +209,9 @@
 		reload(ctx, hangUps, func() { platform = reloadPlatform(platform, watch) },
 			func() { own = reloadOwn(own, path, resume) })
 	})
+	if place != nil {
+		awaitList(terminate, lists.known)
+	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
@@ -204,9 +223,15 @@
 		longest = max(longest, class.Deadline)
 	}
 	longest = min(longest, longestDrain)
-	slog.Info("draining", "longest", longest)
+	succeeded := place.Lives()
+	slog.Info("draining", "longest", longest, "successor", succeeded)
 	resume.leave()
-	server.Drain(begun.Add(longest/2), begun.Add(longest+afterDrain/2), begun.Add(longest+afterDrain))
+	plan := caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + afterDrain/2), End: begun.Add(longest + afterDrain)}
+	if succeeded { // who connects from now on is the successor's, who was accepted before is served
+		_ = listener.Close()
+		plan.Refuse, plan.From = plan.End, begun
+	}
+	server.Drain(plan)
 	_ = listener.Close()
 	err = <-served
 	server.Close()
@@ -277,6 +302,9 @@
 // limit keeps the process within its machine.
 func limit(l config.Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
-	// The rest is for stacks' growth, the kernel's share and the binary.
-	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(heap(l))
 }
+
+// heap is what of the memory the heap may take. The rest is for stacks' growth, the
+// kernel's share and the binary.
+func heap(l config.Limits) int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
--- /dev/null
+++ b/cmd/coralrelay/operations.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"coralrelay/internal/beside"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/config"
+	"coralrelay/internal/mgmt"
+)
+
+const (
+	// placeWithin is how long a process waits for a place beside another: the last but
+	// one may still be ending.
+	placeWithin = 4 * time.Second
+	// listWithin is how long a successor waits for discovery before it takes clients by
+	// the list that the node had last. It has 6 s to say yes.
+	listWithin = 2 * time.Second
+	// looksBeside is how often the memory is divided anew.
+	looksBeside = 200 * time.Millisecond
+	// drainFrom, drainOver: how an operator's drain moves what stands. Callers come for
+	// 0.2 s after the front has heard; all have to be told within 4 s.
+	drainRefuse, drainFrom, drainOver = 600 * time.Millisecond, 350 * time.Millisecond, 2500 * time.Millisecond
+	// noEnd is later than any drain.
+	noEnd = 100 * 365 * 24 * time.Hour
+)
+
+// clientsListener opens the clients' listener, or takes the one that the platform holds.
+func clientsListener(c config.Config) (net.Listener, error) {
+	if c.Inherited == 0 {
+		l, err := net.Listen("tcp", c.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	syscall.CloseOnExec(c.Inherited)
+	file := os.NewFile(uintptr(c.Inherited), "inherited")
+	if file == nil {
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", c.Inherited)
+	}
+	defer file.Close() // the listener has a copy of its own
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", c.Inherited, err)
+	}
+	if !listens(l) {
+		_ = l.Close()
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", c.Inherited)
+	}
+	return l, nil
+}
+
+// listens tells whether l takes TCP connections. A connected socket passes for a
+// listener until its first Accept.
+func listens(l net.Listener) (yes bool) {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		v, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+		yes = err == nil && v == 1
+	})
+	return yes
+}
+
+// takePlace takes this process's place beside another, where there may be one; else
+// it returns nil.
+func takePlace(c config.Config, dir string) (*beside.Place, error) {
+	if c.Inherited == 0 {
+		return nil, nil
+	}
+	return beside.Take(dir, time.Now().Add(placeWithin))
+}
+
+// shareMemory leaves half of the memory to the process beside this one while it lives.
+func shareMemory(ctx context.Context, place *beside.Place, l config.Limits) {
+	tick := time.NewTicker(looksBeside)
+	defer tick.Stop()
+	for was := false; ; {
+		if lives := place.Lives(); lives != was {
+			was = lives
+			share := heap(l)
+			if lives {
+				share /= 2
+			}
+			debug.SetMemoryLimit(share)
+			slog.Info("beside another process of this node", "lives", lives)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// awaitList waits until discovery has said who is there, but not for long.
+func awaitList(terminate context.Context, known <-chan struct{}) {
+	late := time.NewTimer(listWithin)
+	defer late.Stop()
+	select {
+	case <-known:
+	case <-late.C:
+	case <-terminate.Done():
+	}
+}
+
+// operations are what operators may ask of the node.
+type operations struct{ *caller.Server }
+
+func (o operations) Figures() string { return "" }
+
+func (o operations) LameDuck() {
+	now := time.Now()
+	slog.Info("emptying the node, as an operator asked")
+	o.Server.LameDuck(caller.Plan{Refuse: now.Add(drainRefuse), From: now.Add(drainFrom), Until: now.Add(drainOver), End: now.Add(noEnd)})
+}
+
+func (o operations) Rejoin() {
+	slog.Info("taking clients, as an operator asked")
+	o.Server.Rejoin()
+}
+
+// startMgmt starts the operators' front, if it has an address. It ends with ctx.
+func startMgmt(ctx context.Context, parts *sync.WaitGroup, addr string, node mgmt.Node) error {
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	parts.Go(func() { _ = mgmt.New(node).Serve(l) })
+	return nil
+}
--- /dev/null
+++ b/internal/beside/beside.go
@@ -0,0 +1,108 @@
+// Package beside tells two processes that are one node, the old one and its
+// successor, about each other: whether the other lives, and how many sockets it uses.
+package beside
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// name is the file in the folder that both share. What an earlier process left
+	// in it counts for nothing: only a lock, which ends with its process, does.
+	name = "coralrelay.beside"
+	// places are the processes that may live at once.
+	places = 2
+	// again is the pause between two looks for a free place.
+	again = 20 * time.Millisecond
+)
+
+// ErrFull is told where two processes live already.
+var ErrFull = errors.New("two processes of this node live already")
+
+// Place is one process's. A nil Place is that of a process which shares with nobody.
+type Place struct {
+	file *os.File
+	mine int64
+}
+
+// Take takes a place in dir, and waits for one until the deadline: the last but one
+// process may still be ending.
+func Take(dir string, deadline time.Time) (*Place, error) {
+	path := filepath.Join(dir, name)
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|unix.O_NONBLOCK, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("beside: %w", err)
+	}
+	if info, err := file.Stat(); err != nil || !info.Mode().IsRegular() {
+		_ = file.Close()
+		return nil, fmt.Errorf("beside: %s is no file: %w", path, err)
+	}
+	for {
+		for i := range int64(places) {
+			if unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, lock(unix.F_WRLCK, i)) == nil {
+				p := &Place{file: file, mine: i}
+				p.use(0)
+				return p, nil
+			}
+		}
+		if !time.Now().Before(deadline) {
+			_ = file.Close()
+			return nil, fmt.Errorf("beside: %s: %w", path, ErrFull)
+		}
+		time.Sleep(again)
+	}
+}
+
+// lock names the one byte that stands for a place.
+func lock(kind int16, place int64) *unix.Flock_t {
+	return &unix.Flock_t{Type: kind, Start: place, Len: 1}
+}
+
+// at is where a place's count stands, behind all the bytes that stand for places.
+func at(place int64) int64 { return 8 * (1 + place) }
+
+func (p *Place) use(sockets int) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(sockets))
+	_, _ = p.file.WriteAt(b[:], at(p.mine)) // a full disk must not end the node
+}
+
+// Lives tells whether the other process does.
+func (p *Place) Lives() bool {
+	if p == nil {
+		return false
+	}
+	other := lock(unix.F_WRLCK, 1-p.mine)
+	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, other) == nil && other.Type != unix.F_UNLCK
+}
+
+// Share tells how many sockets this process uses, and returns how many the other
+// does. It takes a few microseconds, without waiting for the other.
+func (p *Place) Share(mine int) (other int) {
+	if p == nil {
+		return 0
+	}
+	p.use(mine)
+	var b [8]byte
+	if !p.Lives() {
+		return 0
+	}
+	if _, err := p.file.ReadAt(b[:], at(1-p.mine)); err != nil {
+		return 0
+	}
+	return int(min(binary.LittleEndian.Uint64(b[:]), 1<<20)) // whatever stands there, it is no larger
+}
+
+// Close gives the place up.
+func (p *Place) Close() {
+	if p != nil {
+		_ = p.file.Close()
+	}
+}
--- /dev/null
+++ b/internal/beside/beside_test.go
@@ -0,0 +1,70 @@
+package beside
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+func take(t *testing.T, dir string) *Place {
+	t.Helper()
+	p, err := Take(dir, time.Time{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Two processes learn of each other and of each other's sockets, and of an end at
+// once; whatever a file of before says counts for nothing.
+func TestPlaces(t *testing.T) {
+	for name, left := range map[string]string{"no file": "", "garbage": "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff" +
+		"\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			if left != "" {
+				if err := os.WriteFile(filepath.Join(dir, "coralrelay.beside"), []byte(left), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			old := take(t, dir)
+			if old.Lives() || old.Share(100) != 0 {
+				t.Error("a process alone sees another")
+			}
+			next := take(t, dir)
+			if there := next.Share(7); !next.Lives() || there != 100 {
+				t.Errorf("the new one sees %d sockets", there)
+			}
+			if there := old.Share(99); !old.Lives() || there != 7 {
+				t.Errorf("the old one sees %d sockets", there)
+			}
+			if _, err := Take(dir, time.Now().Add(3*again)); !errors.Is(err, ErrFull) {
+				t.Errorf("a third: %v", err)
+			}
+			old.Close()
+			if next.Lives() || next.Share(1) != 0 {
+				t.Error("the old one's end is not seen")
+			}
+			take(t, dir) // its place is free
+		})
+	}
+}
+
+// What can't be the file is an error that names it.
+func TestNoFile(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.Mkdir(filepath.Join(dir, "coralrelay.beside"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Take(dir, time.Time{}); err == nil {
+		t.Error("a folder passes for the file")
+	}
+	var alone *Place
+	if alone.Lives() || alone.Share(3) != 0 {
+		t.Error("a process that shares with nobody sees another")
+	}
+	alone.Close()
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -52,6 +52,9 @@
 type Limits struct {
 	Sockets int           // that may be in use: one for a caller, one more for its branch
 	Pause   time.Duration // asked of callers who are refused unseen; 0 if none may be
+	// Share tells a process beside this one how many are in use here, and returns how
+	// many are there; nil where no such process can be.
+	Share func(mine int) (there int)
 }
 
 // Server serves callers.
@@ -65,7 +68,10 @@
 	failed   tally.Tally
 
 	mu       sync.Mutex
-	draining bool
+	accepts  bool      // Serve runs
+	leaving  bool      // the node is being emptied
+	refuseAt time.Time // while it is: newcomers get the busy answer from then on
+	rejoined func()    // ends the emptying that can be ended; nil without one
 	running  map[*exchange.Transaction]struct{}
 	legs     map[net.Conn]struct{}
 	waiting  list.List // of net.Conn: legs that have not opened anything, the oldest first
@@ -80,6 +86,9 @@
 
 // Serve accepts callers until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.accepts = true
+	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -113,7 +122,11 @@
 			s.reject(l, err)
 			return
 		case string(text) == line.Ping && asked < pings:
-			if err := l.WriteText(line.Pong, deadline); err != nil {
+			answer := line.Pong
+			if !s.TakesClients() {
+				answer = s.busy()
+			}
+			if err := l.WriteText(answer, deadline); err != nil {
 				l.Release()
 				return
 			}
@@ -150,13 +163,21 @@
 	s.mu.Unlock()
 }
 
+// TakesClients tells whether newcomers are welcome.
+func (s *Server) TakesClients() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepts && !s.leaving
+}
+
 // admit tells whether there is room for t, which the oldest callers that wait
-// have to make. While the node drains there is none.
+// have to make. While the node is emptied there is none, but for who is still sent
+// here because the news is not out.
 func (s *Server) admit(t *exchange.Transaction, place *list.Element) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting.Remove(place)
-	if s.draining || !s.room() {
+	if s.leaving && !time.Now().Before(s.refuseAt) || !s.room() {
 		return false
 	}
 	s.running[t] = struct{}{}
@@ -166,11 +187,7 @@
 // reject answers a first line that is none, and ends the leg.
 func (s *Server) reject(l *leg.Leg, err error) {
 	s.bad.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
-	_ = l.WriteText(line.Error, time.Now().Add(writing))
-	l.FinishWrites()
-	_ = l.SetReadDeadline(time.Now().Add(linger))
-	l.Drain()
-	l.Release()
+	l.Farewell(line.Error, time.Now().Add(writing), linger)
 }
 
 // busy words the busy answer to who is refused unseen.
@@ -191,7 +208,11 @@
 // room tells whether there is room for one more socket, if need be that of the
 // caller that has waited longest, under the lock.
 func (s *Server) room() bool {
-	if len(s.legs)+len(s.running) < s.limits.Sockets {
+	used := len(s.legs) + len(s.running)
+	if s.limits.Share != nil {
+		used += s.limits.Share(used)
+	}
+	if used < s.limits.Sockets {
 		return true
 	}
 	oldest := s.waiting.Front()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Mgmt      string // where operators call; empty for nowhere
+	Inherited int    // the descriptor of the listening socket for clients; 0 if there is none
 	Seed      uint64
 	Limits    Limits
 	Known     roster.Update // the list that this node had last; may be old
@@ -47,11 +49,17 @@
 // discoveryVariable wins over the file at the start, and only then.
 const discoveryVariable = "BALANCER_DISCOVERY"
 
+const (
+	mgmtVariable      = "BALANCER_MGMT"
+	inheritedVariable = "BALANCER_INHERITED_FD"
+)
+
 // file is BALANCER_CONFIG's form.
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
@@ -101,7 +109,7 @@
 	}
 	for key, same := range map[string]bool{
 		"name": next.Name == c.Name, "listen": next.Listen == c.Listen, "seed": next.Seed == c.Seed,
-		"limits": next.Limits == c.Limits, "settings": reflect.DeepEqual(next.Settings, c.Settings),
+		"limits": next.Limits == c.Limits, "mgmt": next.Mgmt == c.Mgmt, "settings": reflect.DeepEqual(next.Settings, c.Settings),
 	} {
 		if !same {
 			fixed = append(fixed, key)
@@ -121,6 +129,16 @@
 	if c.Discovery, err = address("discovery", discoveryVariable, f.Discovery, getenv); err != nil {
 		return c, err
 	}
+	if f.Mgmt != "" || getenv(mgmtVariable) != "" {
+		if c.Mgmt, err = address("mgmt", mgmtVariable, f.Mgmt, getenv); err != nil {
+			return c, err
+		}
+	}
+	if fd := getenv(inheritedVariable); fd != "" {
+		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
+			return c, fmt.Errorf("%s: %q is no descriptor above 2", inheritedVariable, fd)
+		}
+	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -185,9 +185,9 @@
 	}
 }
 
-// Standing tells whether the connection is up.
+// Standing tells whether the connection is up, and nobody has asked its caller to go.
 func (t *Transaction) Standing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hop != nil
+	return t.hop != nil && !t.moving
 }
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -131,6 +131,17 @@
 	}
 }
 
+// Farewell writes a last line before the deadline and ends the leg. Unread lines of
+// the other side, which may come for as long as it lingers, don't reset it before it
+// has read that.
+func (l *Leg) Farewell(line string, deadline time.Time, linger time.Duration) {
+	_ = l.WriteText(line, deadline)
+	l.FinishWrites()
+	_ = l.SetReadDeadline(time.Now().Add(linger))
+	l.Drain()
+	l.Release()
+}
+
 // Drain reads and drops until the other side ends or the read deadline has come,
 // so that unread lines don't turn the close into a reset, which might overtake the
 // last line written. Beyond leftover it reads slowly: who has 60 MB to send is
--- /dev/null
+++ b/internal/mgmt/mgmt_test.go
@@ -0,0 +1,155 @@
+package mgmt
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const due = time.Second // for every answer
+
+type node struct {
+	away           atomic.Bool
+	lames, rejoins atomic.Int32
+}
+
+func (n *node) TakesClients() bool { return !n.away.Load() }
+func (n *node) Figures() string    { return "balancer.open_requests:14|g\r\n" }
+func (n *node) LameDuck()          { n.lames.Add(1); n.away.Store(true) }
+func (n *node) Rejoin()            { n.rejoins.Add(1); n.away.Store(false) }
+
+func start(t testing.TB) (addr string, n *node) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n = &node{}
+	ended := make(chan error, 1)
+	go func() { ended <- New(n).Serve(l) }()
+	t.Cleanup(func() {
+		l.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String(), n
+}
+
+func dial(t testing.TB, addr, text string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(conn, text)
+	return conn
+}
+
+// call returns all that is answered, up to the connection's end.
+func call(t testing.TB, addr, text string) string {
+	t.Helper()
+	begun := time.Now()
+	all, err := io.ReadAll(dial(t, addr, text))
+	if took := time.Since(begun); err != nil || took > due {
+		t.Errorf("%.20q: %v after %v", text, err, took)
+	}
+	return string(all)
+}
+
+func TestCalls(t *testing.T) {
+	addr, n := start(t)
+	for _, c := range []struct{ call, want string }{
+		{"PING\r\n", "200 OK\r\n"},
+		{"PING\n", "200 OK\r\n"},
+		{"INFO\r\n", "balancer.open_requests:14|g\r\nEOF\r\n"},
+		{"LAMEDUCK\r\n", "200 emptying\r\n"},
+		{"PING\r\n", "400 takes no clients\r\n"},
+		{"LAMEDUCK\r\n", "200 emptying\r\n"},
+		{"REJOIN\r\n", "200 taking clients\r\n"},
+		{"PING\r\nLAMEDUCK\r\n", "200 OK\r\n"}, // one line each
+		{"", "400 "}, {"\r\n", "400 "}, {"ping\r\n", "400 "}, {"PING \r\n", "400 "}, {"PING", "400 "},
+		{"\x00\xff\r\n", "400 "}, {strings.Repeat("INFO", 2000), "400 "}, {strings.Repeat("x", 4094) + "\r\n", "400 "},
+	} {
+		conn := dial(t, addr, c.call)
+		_ = conn.(*net.TCPConn).CloseWrite() // which makes a half call one that stays so
+		all, err := io.ReadAll(conn)
+		if err != nil || !strings.HasPrefix(string(all), c.want) || strings.HasPrefix(c.want, "200") && string(all) != c.want {
+			t.Errorf("%.20q: %q, %v", c.call, all, err)
+		}
+	}
+	if n.lames.Load() != 2 || n.rejoins.Load() != 1 {
+		t.Errorf("%d drains, %d ends", n.lames.Load(), n.rejoins.Load())
+	}
+}
+
+// Callers who stay and say nothing, or half a call, keep no answer from anybody, and
+// neither do many calls at once.
+func TestCrowd(t *testing.T) {
+	addr, _ := start(t)
+	for i := range 8 * Callers {
+		dial(t, addr, []string{"", "PIN", strings.Repeat("P", 3000)}[i%3])
+	}
+	answers := make(chan string)
+	for range 4 * Callers {
+		go func() { answers <- call(t, addr, "PING\r\n") }()
+	}
+	for range 4 * Callers {
+		if a := <-answers; a != "200 OK\r\n" {
+			t.Errorf("answered %q", a)
+		}
+	}
+}
+
+// A caller's end comes by itself, and so does that of a Server whose callers stay: in
+// exact time, as the bubble sees whatever would be left behind.
+func TestSilentCallersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(&node{})
+		near, far := net.Pipe()
+		begun := time.Now()
+		s.slots <- struct{}{}
+		s.wg.Go(func() { s.serve(near); <-s.slots })
+		_ = near.SetReadDeadline(time.Now().Add(patience))
+		text, _ := bufio.NewReader(far).ReadString('\n')
+		if took := time.Since(begun); took > patience+glance || !strings.HasPrefix(text, "400 ") {
+			t.Errorf("%q after %v", text, took)
+		}
+		far.Close()
+		s.wg.Wait()
+	})
+}
+
+// Whatever comes, there is one answer: 200 for a call that is one, else 400.
+func FuzzCall(f *testing.F) {
+	for _, seed := range []string{"PING\r\n", "INFO\n", "LAMEDUCK\r\nREJOIN\r\n", "", "\n", "PING\r\r\n", "4096"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		s := New(&node{})
+		near, far := net.Pipe()
+		done := make(chan struct{})
+		go func() { defer close(done); s.serve(near) }()
+		go func() {
+			_, _ = far.Write(sent)
+			_ = near.SetReadDeadline(time.Unix(1, 0)) // nothing more will come
+		}()
+		text, _ := bufio.NewReader(far).ReadString('\n')
+		far.Close()
+		<-done
+		call, _, whole := strings.Cut(string(sent), "\n")
+		call = strings.TrimRight(call, "\r")
+		known := whole && len(call) < 100 && strings.Contains(" PING INFO LAMEDUCK REJOIN ", " "+call+" ") && call != ""
+		if known != !strings.HasPrefix(text, "400 ") {
+			t.Errorf("%q: answered %q", sent, text)
+		}
+	})
+}
