Count what operators ask for, and let settings change while the node runs

Counts are made where the thing happens and are exact against clients' and feed servers' own book in the scenes of internal/rules. A file is taken whole or turned down whole; it may lose no key that the file in force has.

The test of config found that a file which is a list was turned down without a name.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -99,29 +99,18 @@
 
 // New returns a Balancer for the given settings, which it checks.
 func New(seed uint64, set Settings) (*Balancer, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	set.Instances = max(set.Instances, 1)
-	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
 	b := &Balancer{
-		set:      set,
 		rng:      rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		classes:  map[string]*Class{},
 		servers:  map[string]*server{},
 		groups:   map[string]*group{},
 		requests: map[string]*request{},
 		bySeq:    map[uint64]*request{},
 		window:   widest,
 	}
-	b.rate[0].span, b.rate[1].span = max(set.Rules.FallAfter, settle), 10*max(set.Rules.FallAfter, settle)
-	for i := range set.Classes {
-		c := &set.Classes[i]
-		b.classes[c.Name] = c
-		if b.slow == 0 || c.MessageAim > 0 && c.MessageAim < b.slow {
-			b.slow = c.MessageAim
-		}
-	}
+	b.tune(set)
 	return b, nil
 }
 
@@ -150,6 +139,8 @@
 		b.timer(e.Token)
 	case ProbeAnswer:
 		b.probed(e)
+	case Retuned:
+		b.tune(e.Settings)
 	}
 	out := b.out
 	b.out = nil
@@ -263,7 +254,7 @@
 // share is the part of its draws that a server is left with. Faults count against the
 // server that has the fewest: where all have some, none is better left out.
 func (b *Balancer) share(s *server) float64 {
-	p := min((1+b.faults)/(1+s.faults.left(b.now)), 1)
+	p := b.trust(s)
 	if w := b.warmth(s); w < 1 {
 		if !b.mayTake(s) {
 			return 0
@@ -273,6 +264,19 @@
 	return p
 }
 
+// trust is the part of its draws that faults leave to s.
+func (b *Balancer) trust(s *server) float64 { return min((1+b.faults)/(1+s.faults.left(b.now)), 1) }
+
+// Avoided counts the listed servers that are left out of all or of most draws.
+func (b *Balancer) Avoided() (n int) {
+	for _, s := range b.servers {
+		if s.State != Gone && (s.slot < 0 || b.trust(s) < 0.5) {
+			n++
+		}
+	}
+	return n
+}
+
 // mayTake tells whether s may be sent one more: it is ready and, while it is cold, its
 // budget at this instance holds one more. Its share of the draws keeps to the budget on
 // average; but a wave is known only when it has come, many wait for one answer, and a
--- a/balance/state.go
+++ b/balance/state.go
@@ -122,8 +122,26 @@
 	since    time.Duration // when it was last sent; when its connection stood
 }
 
-// check names the first setting that can't be worked with.
-func (s *Settings) check() error {
+// tune takes settings. What is under way keeps its class, which is the old settings'.
+func (b *Balancer) tune(set Settings) {
+	set.Instances = max(set.Instances, 1)
+	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
+	b.set, b.classes, b.slow = set, map[string]*Class{}, 0
+	b.rate[0].span, b.rate[1].span = max(set.Rules.FallAfter, settle), 10*max(set.Rules.FallAfter, settle)
+	for _, s := range b.servers {
+		s.sent.span = b.rate[0].span
+	}
+	for i := range set.Classes {
+		c := &set.Classes[i]
+		b.classes[c.Name] = c
+		if b.slow == 0 || c.MessageAim > 0 && c.MessageAim < b.slow {
+			b.slow = c.MessageAim
+		}
+	}
+}
+
+// Check names the first setting that can't be worked with.
+func (s *Settings) Check() error {
 	switch {
 	case len(s.Classes) == 0:
 		return errors.New("settings: no classes")
--- a/balance/types.go
+++ b/balance/types.go
@@ -203,7 +203,12 @@
 	Load    Load
 }
 
+// Retuned brings other settings, which Settings.Check has passed. What is under way
+// keeps its class.
+type Retuned struct{ Settings }
+
 func (ListUpdate) event()   {}
+func (Retuned) event()      {}
 func (Request) event()      {}
 func (OpenConn) event()     {}
 func (Started) event()      {}
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -18,9 +18,11 @@
 	"github.com/alecthomas/kong"
 
 	"coralrelay/balance"
+	"coralrelay/internal/beside"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/operator"
@@ -157,11 +159,12 @@
 func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operator.File, path string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
+	var place *beside.Place
+	defer func() { place.Close() }() // when all is over: the process beside this one goes by it
 	defer parts.Wait()
 	defer cancel()
 
-	hops := nexthop.New(ctx, nexthop.Limits{Connect: c.Settings.Limits.ConnectTimeout, Probe: probeWait,
-		Drain: c.Settings.Rules.DrainGrace})
+	hops := nexthop.New(ctx, hopLimits(c.Settings))
 	lists := &fleet{hops: hops, known: make(chan struct{})}
 	watch := roster.New(c.Discovery, lists)
 	core, err := decide.New(decide.NewClock(), c.Seed, c.Settings, hops, watch)
@@ -181,17 +184,19 @@
 	if err != nil {
 		return err
 	}
-	place, err := takePlace(c, os.TempDir())
-	if err != nil {
+	if place, err = takePlace(c, os.TempDir()); err != nil {
 		return err
 	}
-	defer place.Close()
 	limits := caller.Limits{Sockets: sockets - min(spareSockets, sockets/4), Pause: pause(c.Settings.Limits)}
 	if place != nil {
 		limits.Share = place.Share
 		parts.Go(func() { shareMemory(ctx, place, c.Limits) })
 	}
 	server := caller.New(core, hops, limits)
+	book := &figures.Book{}
+	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
+	inForce.take(c)
+	server.Figures = book
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
 		return err
@@ -199,15 +204,14 @@
 	if resume != nil {
 		server.Continuities = resume.sessions
 	}
-	if err := startMgmt(ctx, &parts, c.Mgmt, operations{server}); err != nil {
+	if err := startMgmt(ctx, &parts, c.Mgmt, operations{server, hops, core, book}); err != nil {
 		return err
 	}
 	parts.Go(func() { core.Run(ctx) })
 	parts.Go(func() { watch.Run(ctx, c.Known) })
 	parts.Go(func() {
-		platform, own := c, own // what is in force, which differs from the start's
-		reload(ctx, hangUps, func() { platform = reloadPlatform(platform, watch) },
-			func() { own = reloadOwn(own, path, resume) })
+		own := own // what is in force, which differs from the start's
+		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
 		awaitList(terminate, lists.known)
@@ -218,11 +222,7 @@
 
 	<-terminate.Done()
 	begun := time.Now()
-	longest := time.Duration(0)
-	for _, class := range c.Settings.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	longest = min(longest, longestDrain)
+	longest := min(inForce.longest(), longestDrain)
 	succeeded := place.Lives()
 	slog.Info("draining", "longest", longest, "successor", succeeded)
 	resume.leave()
@@ -253,22 +253,6 @@
 	}
 }
 
-// reloadPlatform reads the platform's configuration again. A file that can't be
-// used changes nothing.
-func reloadPlatform(c config.Config, watch *roster.Watch) config.Config {
-	next, fixed, err := c.Reload(os.Getenv)
-	if err != nil {
-		slog.Error("reload: the old configuration stays", "err", err)
-		return c
-	}
-	if len(fixed) > 0 {
-		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
-	}
-	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery)
-	watch.Follow(next.Discovery)
-	return next
-}
-
 // reloadOwn reads the operator's file again, if there is one.
 func reloadOwn(own operator.File, path string, r *resumption) operator.File {
 	if path == "" {
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -14,7 +14,10 @@
 	"coralrelay/internal/beside"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
 	"coralrelay/internal/mgmt"
+	"coralrelay/internal/nexthop"
 )
 
 const (
@@ -120,9 +123,16 @@
 }
 
 // operations are what operators may ask of the node.
-type operations struct{ *caller.Server }
+type operations struct {
+	*caller.Server
+	hops *nexthop.Hops
+	core *decide.Core
+	book *figures.Book
+}
 
-func (o operations) Figures() string { return "" }
+func (o operations) Figures() string {
+	return o.book.Text(figures.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.Avoided()})
+}
 
 func (o operations) LameDuck() {
 	now := time.Now()
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"coralrelay/internal/standin"
 )
 
 // process is the node's program, started as the platform does.
@@ -100,13 +102,26 @@
 	return l.Addr().String(), file
 }
 
+// names is a discovery that names one next hop.
+func names(t *testing.T, hop string) string {
+	t.Helper()
+	r := standin.NewRoster()
+	r.Set("s1", standin.Active, time.Time{}, map[string]string{"n0": hop})
+	addr, err := r.Listen("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return addr
+}
+
 // A successor takes over while clients keep coming: nobody is turned away or left
 // unread at the door, what stands is moved, who said nothing yet is still served, and
 // the old process ends in its time. Nothing else outlives it but the successor.
 func TestReplaced(t *testing.T) {
 	var got atomic.Int32
 	hop := listen(t, nextHop(&got))
-	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
+	discovery := names(t, hop)
 	addr, file := held(t)
 	dir, tmp := t.TempDir(), t.TempDir()
 	if err := os.WriteFile(filepath.Join(tmp, "coralrelay.beside"), bytes.Repeat([]byte("stale"), 20), 0o600); err != nil {
@@ -161,7 +176,7 @@
 		}
 	}
 	if err := old.ends(patience); err != nil {
-		t.Errorf("the old one ended with %v", err)
+		t.Errorf("the old one ended with %v\n%s", err, old.log)
 	}
 	if took, most := time.Since(begun), 1900*time.Millisecond; took > most {
 		t.Errorf("it took %v, want at most %v", took, most)
@@ -181,7 +196,7 @@
 func TestSuccessorFails(t *testing.T) {
 	var got atomic.Int32
 	hop := listen(t, nextHop(&got))
-	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
+	discovery := names(t, hop)
 	addr, file := held(t)
 	dir, tmp := t.TempDir(), t.TempDir()
 	path := filepath.Join(dir, "config.json")
--- /dev/null
+++ b/cmd/coralrelay/retune.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/config"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+)
+
+// live is the platform's configuration that is in force, and who goes by it.
+type live struct {
+	core   *decide.Core
+	hops   *nexthop.Hops
+	server *caller.Server
+	watch  *roster.Watch
+	book   *figures.Book
+
+	mu      sync.Mutex
+	current config.Config
+}
+
+// take brings a configuration into force with the parts that count and bound by it.
+func (l *live) take(c config.Config) {
+	names := []string{}
+	for _, class := range c.Settings.Classes {
+		names = append(names, class.Name)
+	}
+	l.book.Name(names...) // before anybody is served by them
+	l.hops.Limit(hopLimits(c.Settings))
+	l.server.SetPause(pause(c.Settings.Limits))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = c
+}
+
+// reload reads the platform's configuration again: all of a file takes force, or none.
+func (l *live) reload() {
+	l.mu.Lock()
+	c := l.current
+	l.mu.Unlock()
+	next, fixed, err := c.Reload(os.Getenv)
+	if err != nil {
+		l.book.Invalid.Add(1)
+		slog.Error("reload: the old configuration stays", "err", err)
+		return
+	}
+	if len(fixed) > 0 {
+		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+	}
+	l.take(next)
+	l.core.Retune(next.Settings)
+	l.watch.Follow(next.Discovery)
+	l.book.Accepted.Add(1)
+	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery, "classes", len(next.Settings.Classes))
+}
+
+// longest is the longest deadline of a class.
+func (l *live) longest() (d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, class := range l.current.Settings.Classes {
+		d = max(d, class.Deadline)
+	}
+	return d
+}
+
+// hopLimits are the bounds that settings set for what is spent on a next hop.
+func hopLimits(s balance.Settings) nexthop.Limits {
+	return nexthop.Limits{Connect: s.Limits.ConnectTimeout, Probe: probeWait, Drain: s.Rules.DrainGrace}
+}
--- /dev/null
+++ b/cmd/coralrelay/retune_test.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// New settings take force at a hang-up, all of a file or none: classes appear and
+// vanish, what stands keeps its own, and the figures tell what was on the sockets.
+func TestRetuned(t *testing.T) {
+	var got atomic.Int32
+	calls := make(chan string, 8)
+	discovery := func(name string) string {
+		return listen(t, func(conn net.Conn) { calls <- name; io.Copy(io.Discard, conn) })
+	}
+	hop := listen(t, nextHop(&got))
+	addr, path := free(t), filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr, discovery("first"), hop, 1024)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, path, t.TempDir(), nil)
+	p.until("PING", "200")
+	if name := <-calls; name != "first" {
+		t.Fatal(name)
+	}
+	hangUp := func(text string, accepted, invalid int) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		p.untilHas(fmt.Sprintf("balancer.cfg_accepted:%d|c\r\nbalancer.cfg_invalid:%d|c\r\n", accepted, invalid))
+	}
+	ask := func(id, class string) string {
+		return call(t, addr, fmt.Sprintf("OPEN %s k1 c=%s,d=1200\r\n", id, class)).line()
+	}
+	standing := call(t, addr, open("a"))
+	if s := standing.line(); s != "UP r1" {
+		t.Fatal(s)
+	}
+	if s := ask("b", "feed_new"); s != "ERR" {
+		t.Errorf("a class to come: %q", s)
+	}
+
+	class := string(raw[strings.Index(string(raw), `{"name":"feed"`):strings.Index(string(raw), `],`+"\n")])
+	both := strings.Replace(string(raw), class, class+","+strings.Replace(class, "feed", "feed_new", 1), 1)
+	hangUp(both, 1, 0)
+	if s, u := ask("c", "feed_new"), ask("d", "feed"); s != "UP r1" || u != "UP r1" {
+		t.Errorf("a class that has appeared: %q, one that was there: %q", s, u)
+	}
+
+	elsewhere := discovery("of a bad file")
+	bad := strings.Replace(strings.Replace(both, "1.2", "-5", 1), `"discovery":"`, `"discovery":"`+elsewhere+`","was":"`, 1)
+	for i, text := range []string{bad, "", bad[:len(bad)/2], strings.Replace(both, `"mostTries":6,`, "", 1)} {
+		hangUp(text, 1, i+1)
+	}
+
+	hangUp(strings.ReplaceAll(string(raw), `"feed"`, `"other"`), 2, 4)
+	if s, u := ask("e", "feed"), ask("f", "other"); s != "ERR" || u != "UP r1" {
+		t.Errorf("a class that has vanished: %q, the one that stays: %q", s, u)
+	}
+	fmt.Fprint(standing, "are you there\r\n")
+	if s := standing.line(); s != "yes" {
+		t.Errorf("what stands: %q", s)
+	}
+	want := ""
+	for _, c := range []struct {
+		name                          string
+		fulfilled, throttled, faulted int
+	}{{"feed", 2, 0, 1}, {"feed_new", 1, 0, 0}, {"other", 1, 0, 0}} {
+		want += fmt.Sprintf("balancer.operations.%[1]s.fulfilled:%[2]d|c\r\nbalancer.operations.%[1]s.throttled:%[3]d|c\r\nbalancer.operations.%[1]s.faulted:%[4]d|c\r\n",
+			c.name, c.fulfilled, c.throttled, c.faulted)
+	}
+	want += fmt.Sprintf("balancer.relayed:%d|c\r\n", got.Load())
+	p.untilHas(want)
+	select {
+	case name := <-calls:
+		t.Errorf("the discovery %s was called", name)
+	case <-time.After(50 * time.Millisecond):
+	}
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if s := standing.line(); s != "MOVE" {
+		t.Errorf("at the end: %q", s)
+	}
+	if err := p.ends(patience); err != nil {
+		t.Error(err)
+	}
+	for _, key := range []string{"settings.classes[0].deadline", "settings.limits.mostTries", "BALANCER_CONFIG"} {
+		if !strings.Contains(p.log.String(), key) {
+			t.Errorf("the log does not name %s:\n%s", key, p.log)
+		}
+	}
+}
+
+// untilHas asks for the figures until they hold a text.
+func (p *process) untilHas(text string) {
+	p.t.Helper()
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		got := p.ask("INFO")
+		if strings.Contains(got, text) && strings.HasSuffix(got, "EOF\r\n") {
+			return
+		}
+		if time.Since(begun) > patience {
+			p.t.Fatalf("figures:\n%swant:\n%s", got, text)
+		}
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -8,10 +8,12 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coralrelay/internal/decide"
 	"coralrelay/internal/exchange"
+	"coralrelay/internal/figures"
 	"coralrelay/internal/leg"
 	"coralrelay/internal/line"
 	"coralrelay/internal/tally"
@@ -59,11 +61,13 @@
 
 // Server serves callers.
 type Server struct {
-	Continuities Continuities // nil where it is not switched on; set before Serve
+	Continuities Continuities  // nil where it is not switched on; set before Serve
+	Figures      *figures.Book // nil if nobody asks; set before Serve
 
 	decider  Decider
 	branches decide.Branches // to next hops of the line protocol
 	limits   Limits
+	pause    atomic.Int64 // limits.Pause, which may change
 	bad      tally.Tally
 	failed   tally.Tally
 
@@ -80,8 +84,20 @@
 
 // New returns a Server that keeps to the limits.
 func New(d Decider, b decide.Branches, l Limits) *Server {
-	return &Server{decider: d, branches: b, limits: l, running: map[*exchange.Transaction]struct{}{},
+	s := &Server{decider: d, branches: b, limits: l, running: map[*exchange.Transaction]struct{}{},
 		legs: map[net.Conn]struct{}{}}
+	s.SetPause(l.Pause)
+	return s
+}
+
+// SetPause changes what callers who are refused unseen are asked to wait.
+func (s *Server) SetPause(d time.Duration) { s.pause.Store(int64(d)) }
+
+// Open counts the connections that were taken and have not ended.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
 }
 
 // Serve accepts callers until the listener is closed.
@@ -150,12 +166,13 @@
 	if s.Continuities != nil && o.Resume != "" {
 		t.Continuity = s.Continuities.Continuity(&o)
 	}
+	t.Figures = s.Figures.Class(o.Class)
 	admitted := s.admit(t, place)
 	_ = l.SetReadDeadline(time.Time{}) // it can't be told to make room any more
 	if admitted {
 		s.decider.Submit(t, s.branches)
 	} else {
-		t.Refuse(s.limits.Pause)
+		t.Refuse(time.Duration(s.pause.Load()))
 	}
 	t.Run()
 	s.mu.Lock()
@@ -191,7 +208,7 @@
 }
 
 // busy words the busy answer to who is refused unseen.
-func (s *Server) busy() string { return line.Front{}.Busy(s.limits.Pause) }
+func (s *Server) busy() string { return line.Front{}.Busy(time.Duration(s.pause.Load())) }
 
 // hold keeps conn among the legs, as one that has not opened anything yet. If
 // there are too many, the one that has waited longest makes room. A usual caller
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,11 +6,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
-	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 
 	"coralrelay/balance"
 	"coralrelay/internal/roster"
@@ -28,6 +29,8 @@
 	Limits    Limits
 	Known     roster.Update // the list that this node had last; may be old
 	Settings  balance.Settings
+
+	keys map[string]any // the file's keys as they are nested, for a later one to be held against
 }
 
 // Limits are those of the node's machine.
@@ -44,6 +47,9 @@
 	defaultSockets  = 1024
 	leastMemoryMB   = 16
 	leastSockets    = 64
+	// longestDeadline and mostTries are the most that settings may ask for.
+	longestDeadline = 86400.0 // seconds
+	mostTries       = 1e6
 )
 
 // discoveryVariable wins over the file at the start, and only then.
@@ -81,22 +87,38 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
+	return read(raw, getenv)
+}
+
+// read reads a file's text.
+func read(raw []byte, getenv func(string) string) (Config, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
-		if errors.As(err, &wrong) {
+		if errors.As(err, &wrong) && wrong.Field != "" {
 			return Config{}, fmt.Errorf("%s: %w", wrong.Field, err)
 		}
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	return f.config(getenv)
+	c, err := f.config(getenv)
+	if err != nil {
+		return c, err
+	}
+	if err := json.Unmarshal(raw, &c.keys); err != nil {
+		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	if c.keys["known"] != nil {
+		c.keys["known"] = "" // a list of its own, which is checked by itself
+	}
+	return c, nil
 }
 
-// Reload reads the file again for a node that runs as c tells. Of what it holds
-// only the discovery's address can change while the node runs, and there the
-// file counts: the environment still has the address of the start. The whole
-// file is checked all the same, and fixed names the keys that would need a
-// restart. On an error c stays as it is.
+// Reload reads the file again for a node that runs as c tells. Of what it holds the
+// discovery's address and the settings change while the node runs, and there the
+// file counts: the environment still has the address of the start. All of the file is
+// taken or none of it: what it may not hold, and what it lacks of the keys that the
+// file in force has, is an error, and c stays as it is. fixed names the keys that
+// would need a restart.
 func (c Config) Reload(getenv func(string) string) (next Config, fixed []string, err error) {
 	next, err = Load(func(name string) string {
 		if name == discoveryVariable {
@@ -107,19 +129,72 @@
 	if err != nil {
 		return c, nil, err
 	}
+	if key := lacks(c.keys, next.keys, ""); key != "" {
+		return c, nil, fmt.Errorf("%s: missing", key)
+	}
 	for key, same := range map[string]bool{
 		"name": next.Name == c.Name, "listen": next.Listen == c.Listen, "seed": next.Seed == c.Seed,
-		"limits": next.Limits == c.Limits, "mgmt": next.Mgmt == c.Mgmt, "settings": reflect.DeepEqual(next.Settings, c.Settings),
+		"limits": next.Limits == c.Limits, "mgmt": next.Mgmt == c.Mgmt,
 	} {
 		if !same {
 			fixed = append(fixed, key)
 		}
 	}
 	slices.Sort(fixed)
-	c.Discovery = next.Discovery
+	c.Discovery, c.Settings, c.keys = next.Discovery, next.Settings, next.keys
 	return c, fixed, nil
 }
 
+// lacks names the first key of old's that next has not. What all of a list's entries
+// have, each of the new list's must have.
+func lacks(old, next any, path string) string {
+	switch old := old.(type) {
+	case map[string]any:
+		next, _ := next.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			at := strings.TrimPrefix(path+"."+key, ".")
+			if old[key] == nil {
+				continue
+			}
+			if next[key] == nil {
+				return at
+			}
+			if missing := lacks(old[key], next[key], at); missing != "" {
+				return missing
+			}
+		}
+	case []any:
+		next, ok := next.([]any)
+		if !ok {
+			return path
+		}
+		common := shared(old)
+		for i, entry := range next {
+			if missing := lacks(common, entry, fmt.Sprintf("%s[%d]", path, i)); missing != "" {
+				return missing
+			}
+		}
+	}
+	return ""
+}
+
+// shared is what all entries of a list have; nil if they are no objects.
+func shared(entries []any) any {
+	if len(entries) == 0 {
+		return nil
+	}
+	first, ok := entries[0].(map[string]any)
+	if !ok {
+		return nil
+	}
+	common := maps.Clone(first)
+	for _, e := range entries[1:] {
+		e, _ := e.(map[string]any)
+		maps.DeleteFunc(common, func(key string, _ any) bool { return e[key] == nil })
+	}
+	return common
+}
+
 func (f *file) config(getenv func(string) string) (Config, error) {
 	c := Config{Name: first(getenv("BALANCER_NAME"), f.Name)}
 	var err error
@@ -156,12 +231,51 @@
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
 		return c, fmt.Errorf("settings: %w", err)
 	}
-	if len(c.Settings.Classes) == 0 {
-		return c, errors.New("settings.classes: missing")
+	if err := checkSettings(f.Settings, &c.Settings); err != nil {
+		return c, fmt.Errorf("settings.%w", err)
 	}
 	return c, nil
 }
 
+// checkSettings names the first of the settings that a node can't serve by.
+func checkSettings(raw json.RawMessage, s *balance.Settings) error {
+	// As they were written: beyond some size they are no durations any more.
+	var given struct {
+		Classes []struct {
+			Deadline float64 `json:"deadline"`
+		} `json:"classes"`
+		Limits struct {
+			MostTries *float64 `json:"mostTries"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(raw, &given); err != nil {
+		return fmt.Errorf("limits: %w", err)
+	}
+	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > mostTries) {
+		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, mostTries)
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("classes: missing")
+	}
+	names := map[string]bool{}
+	for i, class := range s.Classes {
+		at := fmt.Sprintf("classes[%d]", i)
+		switch {
+		case class.Name == "":
+			return fmt.Errorf("%s.name: missing", at)
+		case names[class.Name]:
+			return fmt.Errorf("%s.name: %q stands there twice", at, class.Name)
+		case class.Deadline <= 0 || given.Classes[i].Deadline > longestDeadline:
+			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, longestDeadline)
+		}
+		names[class.Name] = true
+	}
+	if err := s.Check(); err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	return nil
+}
+
 func (f *file) limits() (Limits, error) {
 	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	if v := f.Limits.Cores; v != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
@@ -77,43 +78,130 @@
 	}
 }
 
-// On a reload the file's discovery counts; other keys wait for a restart, and a
-// file that can't be used changes nothing.
-func TestReload(t *testing.T) {
+// whole is a file as the platform writes it; its settings have more than a node reads.
+const whole = `{"name":"n3","listen":"127.0.0.4:7070","mgmt":"127.0.0.4:15000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
+"known":{"generation":41,"reset":true,"instances":[{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}]},
+"settings":{"classes":[{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}],"granularity":0.004,
+"guarantees":{"drainGrace":0.3},"limits":{"mostTries":6},"zones":["a","b"],"tiers":[]}}`
+
+const class = `{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}`
+
+// reload has a node that was started with a file read another.
+func reload(t testing.TB, first, second string) (c, next Config, fixed []string, err error) {
+	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	env := func(name string) string {
 		return map[string]string{"BALANCER_CONFIG": path, "BALANCER_DISCOVERY": "127.2.0.1:8500"}[name]
 	}
-	write := func(old, new string) {
-		if err := os.WriteFile(path, []byte(strings.Replace(good, old, new, 1)), 0o600); err != nil {
+	for i, text := range []string{first, second} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
+		if i == 0 {
+			if c, err = Load(env); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
-	write("", "")
-	c, err := Load(env)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tests := []struct {
-		old, new  string
-		discovery string
-		fixed     []string
-		faulty    string
+	next, fixed, err = c.Reload(env)
+	return c, next, fixed, err
+}
+
+// On a reload the file's discovery and its settings count; other keys wait for a restart.
+func TestReload(t *testing.T) {
+	for _, tt := range []struct {
+		old, new string
+		fixed    []string
+		want     func(c Config) bool
 	}{
-		{`127.2.0.1:8500`, `127.2.0.9:8500`, "127.2.0.9:8500", nil, ""},
-		{`"sockets":4096`, `"sockets":512`, "127.2.0.1:8500", []string{"limits"}, ""},
-		{`"127.2.0.1:8500"`, `"nowhere"`, "127.2.0.1:8500", nil, "discovery"},
-		{`"discovery":"127.2.0.1:8500",`, ``, "127.2.0.1:8500", nil, "discovery"},
-		{`"deadline":1.8`, `"deadline":"soon"`, "127.2.0.1:8500", nil, "deadline"},
+		{`127.2.0.1:8500`, `127.2.0.9:8500`, nil, func(c Config) bool { return c.Discovery == "127.2.0.9:8500" }},
+		{`"sockets":4096`, `"sockets":512`, []string{"limits"}, func(c Config) bool { return c.Limits.Sockets == 4096 }},
+		{`"127.0.0.4:15000"`, `"127.0.0.4:15001"`, []string{"mgmt"}, func(c Config) bool { return c.Mgmt == "127.0.0.4:15000" }},
+		{`"mostTries":6`, `"mostTries":2`, nil, func(c Config) bool { return c.Settings.Limits.MaxAttempts == 2 }},
+		{class, class + "," + strings.Replace(class, "feed", "feed_new", 1), nil, func(c Config) bool {
+			return len(c.Settings.Classes) == 2 && c.Settings.Classes[1].Name == "feed_new"
+		}},
+		{class, `{"effect":"non_idempotent","name":"other","deadline":3,"objective":1,"more":7}`, nil, func(c Config) bool {
+			return len(c.Settings.Classes) == 1 && c.Settings.Classes[0].Effect == balance.Unsafe
+		}},
+		{`"tiers":[]`, `"tiers":["x"],"further":{}`, nil, func(c Config) bool { return true }},
+		{`{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}`, ``, nil,
+			func(c Config) bool { return len(c.Known.Entries) == 1 }},
+	} {
+		_, next, fixed, err := reload(t, whole, strings.Replace(whole, tt.old, tt.new, 1))
+		if err != nil || !slices.Equal(fixed, tt.fixed) || !tt.want(next) {
+			t.Errorf("%s: got %+v, fixed %v, %v", tt.new, next, fixed, err)
+		}
 	}
-	for _, tt := range tests {
-		write(tt.old, tt.new)
-		next, fixed, err := c.Reload(env)
-		if next.Discovery != tt.discovery || !slices.Equal(fixed, tt.fixed) || next.Limits != c.Limits {
-			t.Errorf("%s: got %+v, fixed %v", tt.new, next, fixed)
+}
+
+// A file that can't be used is turned down whole, its discovery included, and the
+// message names the key.
+func TestReloadTurnedDown(t *testing.T) {
+	type file struct{ name, text, key string }
+	files := []file{{"empty", "", "BALANCER_CONFIG"}, {"blank", " \n", "BALANCER_CONFIG"}, {"null", "null", "listen"},
+		{"a list", "[]", "BALANCER_CONFIG"}, {"two", whole + whole, "BALANCER_CONFIG"}, {"binary", "\x00\x01", "BALANCER_CONFIG"}}
+	for i := range whole {
+		files = append(files, file{fmt.Sprint("cut at ", i), whole[:i], "BALANCER_CONFIG"})
+	}
+	for key, values := range map[string][]string{
+		`"deadline":1.8`: {"0", "-5", `"soon"`, "null", "1e300", "-1e300", "1e12", "1e400", "true", "[]", `""`, "NaN"},
+		`"mostTries":6`:  {"0", "-1", `"few"`, "null", "1e300", "2.5", "1e9", "{}", "9999999999999999999999"},
+	} {
+		name, _, _ := strings.Cut(key, ":")
+		for _, v := range values {
+			names := strings.Trim(name, `"`)
+			if v == "NaN" || v == "1e400" {
+				names = "" // no JSON, or no number of Go's: its reader names what it can
+			}
+			files = append(files, file{name + ":" + v, strings.Replace(whole, key, name+":"+v, 1), names})
+		}
+	}
+	for _, key := range []string{"name", "listen", "mgmt", "discovery", "seed", "limits", "cores", "memory_mb", "sockets", "known", "settings",
+		"classes", "deadline", "objective", "effect", "granularity", "guarantees", "drainGrace", "mostTries", "zones", "tiers"} {
+		files = append(files, file{"without " + key, strings.Replace(whole, `"`+key+`":`, `"no longer":`, 1), key})
+	}
+	files = append(files,
+		file{"no class", strings.Replace(whole, class, "", 1), "classes"},
+		file{"a class twice", strings.Replace(whole, class, class+","+class, 1), "classes[1].name"},
+		file{"a class without a name", strings.Replace(whole, `"feed"`, `""`, 1), "classes[0].name"},
+		file{"a second class without a deadline", strings.Replace(whole, class, class+`,{"name":"b","objective":1,"effect":"read_like"}`, 1), "classes[1].deadline"},
+		file{"a second class without an aim", strings.Replace(whole, class, class+`,{"name":"b","deadline":1,"effect":"read_like"}`, 1), "classes[1].objective"},
+		file{"an unknown effect", strings.Replace(whole, "read_like", "perhaps", 1), "effect"},
+		file{"no address", strings.Replace(whole, "127.2.0.1:8500", "nowhere", 1), "discovery"})
+	for _, f := range files {
+		c, next, _, err := reload(t, whole, strings.Replace(f.text, "127.2.0.1:8500", "127.2.0.9:8500", 1))
+		if err == nil || !strings.Contains(err.Error(), f.key) {
+			t.Errorf("%s: error %v, want one that names %q", f.name, err, f.key)
 		}
-		if (err == nil) != (tt.faulty == "") || err != nil && !strings.Contains(err.Error(), tt.faulty) {
-			t.Errorf("%s: error %v, want one that names %q", tt.new, err, tt.faulty)
+		if next.Discovery != c.Discovery || len(next.Settings.Classes) != 1 || next.Settings.Limits != c.Settings.Limits {
+			t.Errorf("%s: part of it took force: %+v", f.name, next)
 		}
 	}
 }
+
+// Whatever the file has become, what takes force can be served by.
+func FuzzReload(f *testing.F) {
+	for _, text := range []string{whole, good, "", "{}", whole[:100], strings.Replace(whole, "1.8", "1e300", 1), strings.Replace(whole, "6}", "-1}", 1)} {
+		f.Add([]byte(text))
+	}
+	first, err := read([]byte(whole), func(string) string { return "" })
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := read(text, func(string) string { return "" })
+		if err != nil {
+			return
+		}
+		if lacks(first.keys, c.keys, "") == "" && (c.Discovery == "" || len(c.Settings.Classes) == 0 || c.Settings.Limits.MaxAttempts < 1) {
+			t.Errorf("%q: taken as %+v", text, c)
+		}
+		for _, class := range c.Settings.Classes {
+			if class.Deadline <= 0 || class.Name == "" {
+				t.Errorf("%q: taken with class %+v", text, class)
+			}
+		}
+	})
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -6,12 +6,16 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"coralrelay/balance"
 	"coralrelay/internal/tally"
 )
 
+// looks is how old the module's word on what it avoids may be.
+const looks = 200 * time.Millisecond
+
 // homeAgain is the pause before a next hop is offered once more what it held.
 const homeAgain = 100 * time.Millisecond
 
@@ -57,6 +61,7 @@
 	inbox    chan func()
 	done     chan struct{}
 	bad      tally.Tally
+	avoided  atomic.Int64 // next hops that the module avoids, by its last word
 
 	// What follows belongs to Run's goroutine.
 	classes      map[string]bool
@@ -83,20 +88,38 @@
 	if err != nil {
 		return nil, err
 	}
-	classes := map[string]bool{}
-	for _, class := range set.Classes {
-		classes[class.Name] = true
-	}
 	return &Core{clock: clock, balancer: balancer, prober: p, roster: r,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
-		classes: classes, transactions: map[string]*entry{}}, nil
+		classes: names(set.Classes), transactions: map[string]*entry{}}, nil
+}
+
+func names(classes []balance.Class) map[string]bool {
+	n := map[string]bool{}
+	for _, class := range classes {
+		n[class.Name] = true
+	}
+	return n
 }
 
+// Retune goes on by other settings, which Settings.Check has passed.
+func (c *Core) Retune(set balance.Settings) {
+	c.post(func() {
+		c.classes = names(set.Classes)
+		c.handle(balance.Retuned{Settings: set})
+	})
+}
+
+// Avoided is how many of the listed next hops the module avoided a moment ago. It
+// waits for nobody.
+func (c *Core) Avoided() int { return int(c.avoided.Load()) }
+
 // Run handles events until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
+	look := time.NewTicker(looks)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,6 +127,8 @@
 		case f := <-c.inbox:
 			f()
 		case <-wake.C:
+		case <-look.C:
+			c.avoided.Store(int64(c.balancer.Avoided()))
 		}
 		for now := time.Now(); ; {
 			do, due := c.timers.due(now)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -10,6 +10,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
 	"coralrelay/internal/leg"
 )
 
@@ -87,13 +88,15 @@
 type answer struct {
 	line string
 	hop  *leg.Leg // set if the line is a next hop's UP
+	busy bool     // else: it refuses rather than fails
 }
 
 // Transaction is one request and the connection it becomes.
 type Transaction struct {
 	Request
 	Opening
-	Continuity // nil if its caller did not ask for it
+	Continuity                // nil if its caller did not ask for it
+	Figures    *figures.Class // counts its answer as written; nil if nobody asks
 
 	front  Front
 	watch  Watcher
@@ -146,7 +149,7 @@
 
 // Refuse gives the busy answer.
 func (t *Transaction) Refuse(pause time.Duration) bool {
-	return t.settle(answer{line: t.front.Busy(pause)})
+	return t.settle(answer{line: t.front.Busy(pause), busy: true})
 }
 
 // Fail gives the answer that promises nothing.
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -39,7 +39,13 @@
 	switch {
 	case !answered: // the caller has left
 	case a.hop == nil:
-		_ = t.caller.WriteText(a.line, time.Now().Add(stall))
+		if t.caller.WriteText(a.line, time.Now().Add(stall)) == nil {
+			if a.busy {
+				t.Figures.Throttled()
+			} else {
+				t.Figures.Faulted()
+			}
+		}
 		t.caller.FinishWrites()
 	default:
 		how := t.relay(a)
@@ -152,6 +158,7 @@
 	if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
 		return t.cut(a.hop, CallerLeft)
 	}
+	t.Figures.Fulfilled()
 	defer t.begin(a)()
 	how := Broken
 	for {
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,83 @@
+package figures
+
+import (
+	"strings"
+	"sync"
+	"testing"
+)
+
+func TestText(t *testing.T) {
+	var b Book
+	b.Name("feed", "chat")
+	b.Class("feed").Fulfilled()
+	b.Class("chat").Throttled()
+	b.Class("chat").Faulted()
+	b.Class("chat").Relayed()
+	b.Name("new", "feed") // chat has vanished, feed stays
+	b.Class("chat").Faulted()
+	b.Accepted.Add(1)
+	b.Invalid.Add(2)
+	want := strings.ReplaceAll(`balancer.operations.feed.fulfilled:1|c
+balancer.operations.feed.throttled:0|c
+balancer.operations.feed.faulted:0|c
+balancer.operations.chat.fulfilled:0|c
+balancer.operations.chat.throttled:1|c
+balancer.operations.chat.faulted:2|c
+balancer.operations.new.fulfilled:0|c
+balancer.operations.new.throttled:0|c
+balancer.operations.new.faulted:0|c
+balancer.relayed:1|c
+balancer.open_requests:14|g
+balancer.registry_entries:5|g
+balancer.out_of_rotation:2|g
+balancer.cfg_accepted:1|c
+balancer.cfg_invalid:2|c
+`, "\n", "\r\n")
+	if got := b.Text(Gauges{Open: 14, Listed: 5, Avoided: 2}); got != want {
+		t.Errorf("got:\n%s", got)
+	}
+}
+
+// A stranger's class costs nothing and counts nowhere, and neither does a book that
+// nobody keeps.
+func TestUnnamed(t *testing.T) {
+	var b Book
+	for _, c := range []*Class{b.Class("stranger"), (*Book)(nil).Class("feed")} {
+		c.Fulfilled()
+		c.Throttled()
+		c.Faulted()
+		c.Relayed()
+	}
+	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.relayed:0|c") {
+		t.Errorf("got:\n%s", got)
+	}
+}
+
+// A name stands in a line of its own, whatever is in it.
+func TestNames(t *testing.T) {
+	var b Book
+	b.Name("a b:c|d\r\ne")
+	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.operations.a_b_c_d__e.fulfilled:0|c\r\n") {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Counting goes on beside reading and naming.
+func TestTogether(t *testing.T) {
+	var b Book
+	b.Name("feed")
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 1000 {
+				b.Class("feed").Fulfilled()
+				b.Name("feed", "other")
+				_ = b.Text(Gauges{})
+			}
+		})
+	}
+	wg.Wait()
+	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.operations.feed.fulfilled:4000|c") {
+		t.Errorf("got:\n%s", got)
+	}
+}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coralrelay/balance"
@@ -44,7 +45,7 @@
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
 	ctx    context.Context // ends every probe connection
-	limits Limits
+	limits atomic.Pointer[Limits]
 	watch  Watcher
 	bad    tally.Tally
 
@@ -66,7 +67,19 @@
 
 // New returns Hops without any next hop; their probe connections end with ctx.
 func New(ctx context.Context, l Limits) *Hops {
-	return &Hops{Dial: dial, ctx: ctx, limits: l, hops: map[string]*hop{}}
+	h := &Hops{Dial: dial, ctx: ctx, hops: map[string]*hop{}}
+	h.Limit(l)
+	return h
+}
+
+// Limit bounds what is spent from now on.
+func (h *Hops) Limit(l Limits) { h.limits.Store(&l) }
+
+// Listed is how many next hops the list names.
+func (h *Hops) Listed() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.hops)
 }
 
 // Watch names who is told; call it before anything is started.
@@ -152,7 +165,7 @@
 // drain half is kept back, for what is under way.
 func (h *Hops) MaySend(server string, now time.Time) bool {
 	p := h.get(server)
-	return p != nil && p.mayTake(now, h.limits.Drain/2)
+	return p != nil && p.mayTake(now, h.limits.Load().Drain/2)
 }
 
 // Leaving tells whether a next hop drains or is gone.
@@ -212,12 +225,13 @@
 	now := time.Now()
 	// A dial may take longer than a drain leaves: what was told meanwhile
 	// counts, so it is looked at again just before the first byte.
-	if b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Drain/2) {
+	if b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
 		return false, balance.ConnectFailed, balance.NoLoad
 	}
 	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
 		return false, balance.ConnectFailed, balance.NoLoad // its last byte was not written
 	}
+	b.t.Figures.Relayed()
 	text, err := l.ReadText(b.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -248,7 +262,8 @@
 // dial connects before the deadline, or the limit for connections if that is
 // sooner.
 func (h *Hops) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	if most := time.Now().Add(h.limits.Connect); h.limits.Connect > 0 && most.Before(deadline) {
+	connect := h.limits.Load().Connect
+	if most := time.Now().Add(connect); connect > 0 && most.Before(deadline) {
 		deadline = most
 	}
 	return h.Dial(ctx, addr, deadline)
--- a/internal/nexthop/probe.go
+++ b/internal/nexthop/probe.go
@@ -48,7 +48,7 @@
 			at = addr
 		}
 		begun := time.Now()
-		deadline := begun.Add(h.limits.Probe)
+		deadline := begun.Add(h.limits.Load().Probe)
 		kept := l != nil
 		load, err := h.stats(ctx, p.id, at, &l, deadline)
 		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errStats) {
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -16,6 +16,7 @@
 	"coralrelay/balance"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/roster"
 	"coralrelay/internal/rules"
@@ -45,6 +46,8 @@
 	feeds map[string]*feed
 	ids   int
 	over  map[string]int // how requests were answered
+	sent  int            // attempts that feed servers have read whole
+	count *figures.Book  // the node's own
 
 	kind kind
 }
@@ -166,6 +169,7 @@
 			id, _, _ := strings.Cut(rest, " ")
 			s.note(func(b *rules.Book, now time.Duration) {
 				a.id = id
+				s.sent++
 				b.Sent(now, id, server)
 			})
 			if !s.open(server, conn, a) {
@@ -367,6 +371,9 @@
 	var node sync.WaitGroup
 	node.Go(func() { core.Run(ctx) })
 	server := caller.New(core, s.hops, caller.Limits{Sockets: 1000})
+	s.count = &figures.Book{}
+	s.count.Name("feed")
+	server.Figures = s.count
 	door := listener{s.front, make(chan struct{})}
 	node.Go(func() { _ = server.Serve(door) })
 
@@ -420,6 +427,13 @@
 					for _, broken := range s.book.Broken {
 						t.Error(broken)
 					}
+					// What was counted is what clients and feed servers saw.
+					want := fmt.Sprintf("balancer.operations.feed.fulfilled:%d|c\r\nbalancer.operations.feed.throttled:%d|c\r\n"+
+						"balancer.operations.feed.faulted:%d|c\r\nbalancer.relayed:%d|c\r\n",
+						s.over["served"], s.over["refused"], s.over["failed"], s.sent)
+					if got := s.count.Text(figures.Gauges{}); !strings.HasPrefix(got, want) {
+						t.Errorf("figures:\n%swant:\n%s", got, want)
+					}
 					if s.over["served"] < 60 || s.over["refused"] < 50 {
 						t.Errorf("too calm to tell anything: %v", s.over)
 					}
