--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -31,7 +31,7 @@
 func startProcess(t *testing.T, path, tmp string, inherited *os.File) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0]), t: t, mgmt: free(t), log: &bytes.Buffer{}, end: make(chan error, 1)}
-	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.mgmt, "TMPDIR="+tmp)
+	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.mgmt, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
 	if inherited != nil {
 		p.Env = append(p.Env, "BALANCER_INHERITED_FD=4")
 		p.ExtraFiles = []*os.File{nil, inherited}
