Hand standing connections over to a successor instead of moving them

Both relays of a transaction stop between two lines, and sockets, request and what was read go to the successor over a Unix socket; it answers each, else its caller is moved.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -23,6 +23,7 @@
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
 	"coralrelay/internal/figures"
+	"coralrelay/internal/handover"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/operator"
@@ -184,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	if place, err = takePlace(c, os.TempDir()); err != nil {
+	if place, err = takePlace(c, listener); err != nil {
 		return err
 	}
 	limits := caller.Limits{Sockets: sockets - min(spareSockets, sockets/4), Pause: pause(c.Settings.Limits)}
@@ -214,6 +215,9 @@
 		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
+		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), server); err != nil {
+			slog.Warn("a process before this one can't hand over what stands", "err", err)
+		}
 		awaitList(terminate, lists.known)
 	}
 	served := make(chan error, 1)
@@ -230,6 +234,10 @@
 	if succeeded { // who connects from now on is the successor's, who was accepted before is served
 		_ = listener.Close()
 		plan.Refuse, plan.From = plan.End, begun
+		if g := heir(place); g != nil {
+			plan.Heir = g
+			defer g.Close()
+		}
 	}
 	server.Drain(plan)
 	_ = listener.Close()
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -16,6 +16,7 @@
 	"coralrelay/internal/config"
 	"coralrelay/internal/decide"
 	"coralrelay/internal/figures"
+	"coralrelay/internal/handover"
 	"coralrelay/internal/mgmt"
 	"coralrelay/internal/nexthop"
 )
@@ -82,11 +83,21 @@
 
 // takePlace takes this process's place beside another, where there may be one; else
 // it returns nil.
-func takePlace(c config.Config, dir string) (*beside.Place, error) {
+func takePlace(c config.Config, l net.Listener) (*beside.Place, error) {
 	if c.Inherited == 0 {
 		return nil, nil
 	}
-	return beside.Take(dir, time.Now().Add(placeWithin))
+	return beside.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
+}
+
+// heir is the successor that takes what stands, or nil: then it is moved.
+func heir(place *beside.Place) *handover.Giver {
+	g, err := handover.Give(os.TempDir(), place.Other())
+	if err != nil {
+		slog.Warn("what stands is moved", "err", err)
+		return nil
+	}
+	return g
 }
 
 // shareMemory leaves half of the memory to the process beside this one while it lives.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -42,6 +42,7 @@
 type Decider interface {
 	exchange.Watcher
 	Submit(item decide.Item, b decide.Branches)
+	Adopt(item decide.Item, server string) bool // of one that stands there already
 }
 
 // Continuities gives a caller that asks for it what lets it go on where it was
@@ -74,6 +75,7 @@
 	mu       sync.Mutex
 	accepts  bool      // Serve runs
 	leaving  bool      // the node is being emptied
+	ended    bool      // for good: nothing is taken any more
 	refuseAt time.Time // while it is: newcomers get the busy answer from then on
 	rejoined func()    // ends the emptying that can be ended; nil without one
 	running  map[*exchange.Transaction]struct{}
@@ -187,6 +189,41 @@
 	return s.accepts && !s.leaving
 }
 
+// Adopt goes on with what another process has handed over. If it is false the
+// connections stay the giver's.
+func (s *Server) Adopt(st exchange.Standing, caller, hop net.Conn) bool {
+	t := exchange.Inherit(st, line.Front{}, s.decider, caller, hop)
+	t.Figures = s.Figures.Class(st.Class)
+	s.mu.Lock()
+	ended := s.ended
+	if !ended {
+		s.legs[caller] = struct{}{}
+		s.running[t] = struct{}{}
+		s.wg.Add(1)
+	}
+	s.mu.Unlock()
+	if ended {
+		return false
+	}
+	if !s.decider.Adopt(t, st.Server) {
+		s.mu.Lock()
+		delete(s.legs, caller)
+		delete(s.running, t)
+		s.mu.Unlock()
+		s.wg.Done()
+		return false
+	}
+	go func() {
+		defer s.wg.Done()
+		t.Run()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.legs, caller)
+		delete(s.running, t)
+	}()
+	return true
+}
+
 // admit tells whether there is room for t, which the oldest callers that wait
 // have to make. While the node is emptied there is none, but for who is still sent
 // here because the news is not out.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -19,6 +19,7 @@
 	item.Refuse(0)
 }
 
+func (decider) Adopt(decide.Item, string) bool     { return true }
 func (decider) CallerGone(decide.Item)             {}
 func (decider) Ended(decide.Item, balance.Outcome) {}
 
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -20,6 +20,9 @@
 	Refuse      time.Time // newcomers get the busy answer from then on
 	From, Until time.Time
 	End         time.Time // when there is no more time to wait for who is left
+	// Heir is a process that goes on with what stands, and with what comes up later, in
+	// place of all moves; nil if there is none.
+	Heir exchange.Heir
 }
 
 // Drain empties the node for good. It returns when all are gone, or at the plan's end.
@@ -29,7 +32,7 @@
 		s.rejoined()
 		s.rejoined = nil
 	}
-	s.leaving, s.refuseAt, s.accepts = true, p.Refuse, false
+	s.leaving, s.refuseAt, s.accepts, s.ended = true, p.Refuse, false, true
 	s.mu.Unlock()
 	s.empty(context.Background(), p)
 }
@@ -69,7 +72,12 @@
 			return
 		}
 		n := len(standing)
-		if now.Before(p.From) {
+		if p.Heir != nil {
+			for _, t := range standing {
+				t.Yield(p.Heir)
+			}
+			n = 0
+		} else if now.Before(p.From) {
 			n = 0
 		} else if left := p.Until.Sub(now); left > step {
 			due += float64(n) * step.Seconds() / left.Seconds()
@@ -110,7 +118,7 @@
 }
 
 // standing lists the connections that stand and were not told to move, and
-// counts the other transactions.
+// counts the other transactions, and the callers that may still open one.
 func (s *Server) standing() (list []*exchange.Transaction, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,5 +129,8 @@
 			others++
 		}
 	}
+	if time.Now().Before(s.refuseAt) {
+		others += s.waiting.Len()
+	}
 	return list, others
 }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -276,6 +276,28 @@
 	})
 }
 
+// Adopt takes an item that stands at a server already, and tells whether it does: not
+// if its id is in use here.
+func (c *Core) Adopt(item Item, server string) bool {
+	taken := make(chan bool, 1)
+	c.post(func() {
+		r := item.Asked()
+		if c.transactions[r.ID] != nil {
+			taken <- false
+			return
+		}
+		c.transactions[r.ID] = &entry{item: item, asked: r, server: server, attempts: 1, open: true}
+		c.handle(balance.OpenConn{Request: c.request(r), Server: server})
+		taken <- true
+	})
+	select {
+	case yes := <-taken:
+		return yes
+	case <-c.done:
+		return false
+	}
+}
+
 // ---- the next hop's side ----
 
 // BranchUp is told when a branch is up, and what it carries is the front's.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,6 +64,7 @@
 	Broken                // the next hop broke it off
 	Silent                // the next hop stopped answering
 	CallerLeft            // the caller ended it
+	HandedOver            // another process goes on with it
 )
 
 // outcome is what the module is told of it.
@@ -86,8 +87,9 @@
 
 // answer is what the deciding side hands to the caller's side.
 type answer struct {
-	line string
+	line string   // empty where another process has given it
 	hop  *leg.Leg // set if the line is a next hop's UP
+	from string   // and then: whose
 	busy bool     // else: it refuses rather than fails
 }
 
@@ -110,6 +112,8 @@
 	settled bool      // a final answer was given, or the caller has left
 	gone    bool      // the caller has left
 	hop     *leg.Leg  // after UP
+	server  string    // and whose it is
+	heir    Heir      // who is to go on with it; nil if nobody
 	moving  bool      // a MOVE is wanted
 	closing bool      // the caller leg is about to be closed
 	pending time.Time // when the oldest unanswered line of the caller went on
@@ -138,7 +142,7 @@
 		return false
 	}
 	t.settled = true
-	t.hop = a.hop
+	t.hop, t.server = a.hop, a.from
 	t.final <- a
 	t.cancel()
 	if a.hop != nil {
@@ -155,18 +159,18 @@
 // Fail gives the answer that promises nothing.
 func (t *Transaction) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
 
-// Up hands over a next hop's UP line and its leg, which now belongs to the
+// Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
-func (t *Transaction) Up(line string, hop *leg.Leg) bool {
-	return t.settle(answer{line: line, hop: hop})
+func (t *Transaction) Up(line, server string, hop *leg.Leg) bool {
+	return t.settle(answer{line: line, from: server, hop: hop})
 }
 
 // Move asks the caller to come again. Before UP it does nothing.
 func (t *Transaction) Move() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hop != nil {
+	if t.hop != nil && t.heir == nil {
 		t.moving = true
 		t.hop.Wake()
 	}
@@ -192,5 +196,5 @@
 func (t *Transaction) Standing() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.hop != nil && !t.moving
+	return t.hop != nil && !t.moving && t.heir == nil
 }
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -49,6 +49,10 @@
 		t.caller.FinishWrites()
 	default:
 		how := t.relay(a)
+		if how == HandedOver {
+			<-done
+			how = t.pass(a.hop)
+		}
 		a.hop.Release()
 		t.watch.Ended(t, how.outcome())
 	}
@@ -77,13 +81,16 @@
 	}
 	t.mu.Lock()
 	hop := t.hop
-	if !t.closing {
+	if !t.closing && t.heir == nil {
 		_ = t.caller.SetReadDeadline(time.Time{})
 	}
 	t.mu.Unlock()
 	if hop == nil || t.forward(hop) {
 		t.leave()
 	}
+	if t.yields() {
+		return // what else it sends is the heir's
+	}
 	// The next hop has ended: the relay sees it too and bounds this read.
 	t.caller.Drain()
 }
@@ -114,7 +121,7 @@
 	for {
 		line, err := t.caller.ReadRaw()
 		if err != nil {
-			return true
+			return !errors.Is(err, os.ErrDeadlineExceeded) || !t.yields()
 		}
 		// A deadline of its own: the branch's, which is the caller's wait for UP,
 		// would fail every line that comes after it.
@@ -137,7 +144,9 @@
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
 		t.pending, t.looked = time.Now(), false
-		_ = hop.SetReadDeadline(t.pending.Add(silence))
+		if t.heir == nil {
+			_ = hop.SetReadDeadline(t.pending.Add(silence))
+		}
 	}
 }
 
@@ -145,7 +154,7 @@
 func (t *Transaction) heard(hop *leg.Leg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.pending.IsZero() && !t.moving && !t.gone {
+	if !t.pending.IsZero() && !t.moving && !t.gone && t.heir == nil {
 		_ = hop.SetReadDeadline(time.Time{})
 	}
 	t.pending = time.Time{}
@@ -155,10 +164,12 @@
 // ends or the caller is to move. Only whole lines are written, so MOVE always
 // stands between two.
 func (t *Transaction) relay(a answer) End {
-	if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
-		return t.cut(a.hop, CallerLeft)
+	if a.line != "" {
+		if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
+			return t.cut(a.hop, CallerLeft)
+		}
+		t.Figures.Fulfilled()
 	}
-	t.Figures.Fulfilled()
 	defer t.begin(a)()
 	how := Broken
 	for {
@@ -198,7 +209,7 @@
 func (t *Transaction) lookAgain(hop *leg.Leg, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked || t.heir != nil {
 		return false
 	}
 	t.looked = true
@@ -209,12 +220,14 @@
 // finish ends both sides after the next hop's leg could not be read further.
 func (t *Transaction) finish(hop *leg.Leg, how End, err error) End {
 	t.mu.Lock()
-	moving, gone := t.moving, t.gone
+	moving, gone, yields := t.moving, t.gone, t.heir != nil
 	t.mu.Unlock()
 	switch {
 	case gone:
 		return t.cut(hop, CallerLeft)
 	case how != Broken: // its last line has gone on
+	case yields && errors.Is(err, os.ErrDeadlineExceeded):
+		return HandedOver
 	case moving:
 		how = Moved
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,261 @@
+// Package handover passes standing connections from a process to its successor: over a
+// Unix socket, one message for each, with the two sockets in it, and one answer.
+package handover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+)
+
+const (
+	// within is how long the other side may take for one connection. It does no I/O of
+	// its own meanwhile; a process that takes longer is about to fail.
+	within = 500 * time.Millisecond
+	// largest bounds a message: what was read and not used, twice, in base64, and the
+	// request.
+	largest = 8 * leg.Size
+	taken   = "taken"
+	kept    = "not taken"
+)
+
+// Taker goes on with a connection. *caller.Server does.
+type Taker interface {
+	Adopt(s exchange.Standing, caller, hop net.Conn) bool
+}
+
+// socket finds the address of a name in a folder. It must be short, so it names the folder
+// by its descriptor.
+func socket(dir, name string, then func(addr *net.UnixAddr) error) error {
+	folder, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	defer folder.Close()
+	path := filepath.Join(fmt.Sprintf("/proc/self/fd/%d", folder.Fd()), name)
+	if err := then(&net.UnixAddr{Name: path, Net: "unixpacket"}); err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	return nil
+}
+
+// Serve takes connections at a name in a folder, until ctx ends. What an earlier process
+// has left there goes: the name is this one's own.
+func Serve(ctx context.Context, parts *sync.WaitGroup, dir, name string, to Taker) error {
+	return socket(dir, name, func(addr *net.UnixAddr) error {
+		if err := os.Remove(addr.Name); err != nil && !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		l, err := net.ListenUnix("unixpacket", addr)
+		if err != nil {
+			return err
+		}
+		l.SetUnlinkOnClose(false) // the name may be the next process's by then
+		context.AfterFunc(ctx, func() { _ = l.Close() })
+		parts.Go(func() {
+			for {
+				conn, err := l.AcceptUnix()
+				if err != nil {
+					return // closed
+				}
+				take(ctx, conn, to) // one giver at a time: there is only one process beside this
+			}
+		})
+		return nil
+	})
+}
+
+// take takes connections from one giver until it ends.
+func take(ctx context.Context, conn *net.UnixConn, to Taker) {
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if !own(conn) {
+		slog.Error("handover: connections of another user are not taken")
+		return
+	}
+	n := 0
+	defer func() { slog.Info("handover: taken over", "connections", n) }()
+	message, rights := make([]byte, largest), make([]byte, unix.CmsgSpace(2*4))
+	for {
+		size, oob, _, _, err := conn.ReadMsgUnix(message, rights)
+		if err != nil || size == 0 {
+			return
+		}
+		answer := kept
+		if err := adopt(message[:size], rights[:oob], to); err != nil {
+			slog.Warn("handover: a connection is not taken", "err", err)
+		} else {
+			answer = taken
+			n++
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(within))
+		if _, err := conn.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+// adopt has one connection gone on with.
+func adopt(message, rights []byte, to Taker) error {
+	conns, err := received(rights)
+	give := func() {
+		for _, c := range conns {
+			_ = c.Close() // the giver's copies stay open
+		}
+	}
+	if err == nil && len(conns) != 2 {
+		err = fmt.Errorf("%d connections came, want 2", len(conns))
+	}
+	var s exchange.Standing
+	if err == nil {
+		err = json.Unmarshal(message, &s)
+	}
+	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > leg.Size {
+		err = errors.New("more was read than a buffer holds")
+	}
+	if err != nil {
+		give()
+		return err
+	}
+	if !to.Adopt(s, conns[0], conns[1]) {
+		give()
+		return fmt.Errorf("%s: its id is in use, or this process ends too", s.ID)
+	}
+	return nil
+}
+
+// received returns the connections that came with a message.
+func received(rights []byte) (conns []net.Conn, err error) {
+	messages, err := unix.ParseSocketControlMessage(rights)
+	if err != nil {
+		return nil, err
+	}
+	for i := range messages {
+		fds, err := unix.ParseUnixRights(&messages[i])
+		if err != nil {
+			return conns, err
+		}
+		for _, fd := range fds {
+			file := os.NewFile(uintptr(fd), "handed over")
+			conn, err2 := net.FileConn(file) // has a copy of its own
+			_ = file.Close()
+			if err2 != nil {
+				err = err2
+				continue
+			}
+			conns = append(conns, conn)
+		}
+		if err != nil {
+			return conns, err
+		}
+	}
+	return conns, nil
+}
+
+// own tells whether the other side is of this process's user.
+func own(conn *net.UnixConn) (yes bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+		yes = err == nil && int(cred.Uid) == os.Getuid()
+	})
+	return yes
+}
+
+// Giver hands connections to the process that serves at a name in a folder. It is an
+// exchange.Heir; once something has failed, it gives nothing more.
+type Giver struct {
+	mu   sync.Mutex
+	conn *net.UnixConn // nil once it has failed
+}
+
+// Give connects to the taker.
+func Give(dir, name string) (*Giver, error) {
+	g := &Giver{}
+	return g, socket(dir, name, func(addr *net.UnixAddr) (err error) {
+		if g.conn, err = net.DialUnix("unixpacket", nil, addr); err == nil && !own(g.conn) {
+			g.Close()
+			err = errors.New("the taker is another user's")
+		}
+		return err
+	})
+}
+
+// Take hands one connection over. The transaction closes its copies then.
+func (g *Giver) Take(s exchange.Standing, caller, hop net.Conn) bool {
+	text, err := json.Marshal(s)
+	if err != nil || len(text) > largest {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn == nil {
+		return false
+	}
+	answer, err := g.send(text, caller, hop)
+	if err != nil {
+		slog.Warn("handover: what is left is moved", "err", err)
+		_ = g.conn.Close()
+		g.conn = nil
+	}
+	return err == nil && answer == taken
+}
+
+func (g *Giver) send(text []byte, caller, hop net.Conn) (answer string, err error) {
+	if err := g.conn.SetDeadline(time.Now().Add(within)); err != nil {
+		return "", err
+	}
+	err = with(caller, func(a int) error {
+		return with(hop, func(b int) error {
+			_, _, err := g.conn.WriteMsgUnix(text, unix.UnixRights(a, b), nil)
+			return err
+		})
+	})
+	if err != nil {
+		return "", err
+	}
+	var b [len(kept)]byte
+	n, err := g.conn.Read(b[:])
+	return string(b[:n]), err
+}
+
+// with lends a connection's descriptor.
+func with(conn net.Conn, f func(fd int) error) error {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return errors.New("a connection has no descriptor")
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	inner := raw.Control(func(fd uintptr) { err = f(int(fd)) })
+	return errors.Join(inner, err)
+}
+
+// Close ends the giving; what was handed over stays so.
+func (g *Giver) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conn != nil {
+		_ = g.conn.Close()
+		g.conn = nil
+	}
+}
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"io"
 	"net"
 	"net/textproto"
 	"sync"
@@ -46,6 +47,23 @@
 	return &Leg{Conn: conn, Reader: textproto.Reader{R: b.Reader}, Writer: textproto.Writer{W: b.Writer}, pooled: b}
 }
 
+// Resume returns a Leg on conn from which another process had read some bytes that it
+// did not use.
+func Resume(conn net.Conn, read []byte) *Leg {
+	l := New(conn)
+	if len(read) > 0 {
+		l.pooled.Reader.Reset(io.MultiReader(bytes.NewReader(read), conn))
+	}
+	return l
+}
+
+// Unread returns what was read from the connection and not used, valid until the next
+// read.
+func (l *Leg) Unread() []byte {
+	b, _ := l.R.Peek(l.R.Buffered())
+	return b
+}
+
 // ReadRaw returns the next line with its end, valid until the next read. A read
 // that fails takes nothing: a deadline may come in the middle of a line that is
 // still on its way. It stands in for textproto's ReadLine, which takes a line cut
@@ -69,7 +87,7 @@
 
 // buffered returns what is buffered, up to the end of the first line.
 func (l *Leg) buffered() (line []byte, whole bool) {
-	b, _ := l.R.Peek(l.R.Buffered())
+	b := l.Unread()
 	if i := bytes.IndexByte(b, '\n'); i >= 0 {
 		return b[:i+1], true
 	}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -243,7 +243,7 @@
 	switch reply {
 	case line.Up:
 		_ = l.SetReadDeadline(time.Time{})
-		if stop() && b.t.Up(string(text), l) {
+		if stop() && b.t.Up(string(text), b.hop.id, l) {
 			return true, balance.OK, load
 		}
 		return false, balance.Cancelled, load
