--- a/balance/balance.go
+++ b/balance/balance.go
@@ -167,7 +167,7 @@
 	// All instances may start in one moment, more than the list can answer
 	// at once: the first calls are spread over half the time allowed.
 	b.askAt = b.now
-	if b.set.Instances > 1 {
+	if b.set.Instances > 1 && !b.set.AskNow {
 		b.askAt += b.jitter(b.set.AskWithin/4, 1)
 	}
 	b.do(SetTimer{Delay: house})
--- a/balance/types.go
+++ b/balance/types.go
@@ -19,6 +19,7 @@
 	Classes   []Class       // request classes; at least one
 	ListAsked bool          // the server list comes only after Subscribe or FetchList
 	AskWithin time.Duration // an asked list is deemed told after this without a call
+	AskNow    bool          // this instance starts alone: it need not spread its first call
 	Rules     Rules
 	Limits    Limits
 	Reports   Reports
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -165,6 +166,16 @@
 	defer parts.Wait()
 	defer cancel()
 
+	listener, err := clientsListener(c)
+	if err != nil {
+		return err
+	}
+	if place, err = takePlace(c, listener, own); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	// A node's start is one of many, a successor's its own.
+	c.Settings.AskNow = place.Lives()
 	hops := nexthop.New(ctx, hopLimits(c.Settings))
 	lists := &fleet{hops: hops, known: make(chan struct{})}
 	watch := roster.New(c.Discovery, lists)
@@ -181,16 +192,9 @@
 	if lists.udp != nil {
 		sockets = max(sockets-own.UDP.Sockets, leastSockets)
 	}
-	listener, err := clientsListener(c)
-	if err != nil {
-		return err
-	}
-	if place, err = takePlace(c, listener); err != nil {
-		return err
-	}
 	limits := caller.Limits{Sockets: sockets - min(spareSockets, sockets/4), Pause: pause(c.Settings.Limits)}
 	if place != nil {
-		limits.Share = place.Share
+		limits.Share = func(mine int) int { return share(place, mine) }
 		parts.Go(func() { shareMemory(ctx, place, c.Limits) })
 	}
 	server := caller.New(core, hops, limits)
@@ -225,11 +229,18 @@
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
 
 	<-terminate.Done()
+	resume.leave()
+	leave(server, listener, place, min(inForce.longest(), longestDrain))
+	err = <-served
+	server.Close()
+	return err
+}
+
+// leave empties the node for good, within the longest deadline and a little more.
+func leave(server *caller.Server, listener net.Listener, place *beside.Place, longest time.Duration) {
 	begun := time.Now()
-	longest := min(inForce.longest(), longestDrain)
 	succeeded := place.Lives()
 	slog.Info("draining", "longest", longest, "successor", succeeded)
-	resume.leave()
 	plan := caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + afterDrain/2), End: begun.Add(longest + afterDrain)}
 	if succeeded { // who connects from now on is the successor's, who was accepted before is served
 		_ = listener.Close()
@@ -241,10 +252,7 @@
 	}
 	server.Drain(plan)
 	_ = listener.Close()
-	err = <-served
-	server.Close()
 	slog.Info("drained", "took", time.Since(begun))
-	return err
 }
 
 // reload does what is given on each hang-up, until ctx ends.
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -19,6 +19,7 @@
 	"coralrelay/internal/handover"
 	"coralrelay/internal/mgmt"
 	"coralrelay/internal/nexthop"
+	"coralrelay/internal/operator"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// listWithin is how long a successor waits for discovery before it takes clients by
 	// the list that the node had last. It has 6 s to say yes.
 	listWithin = 2 * time.Second
+	// besideSockets are what a process needs besides its callers and their branches:
+	// operators' calls, probes, discovery, listeners.
+	besideSockets = mgmt.Callers + 24
 	// looksBeside is how often the memory is divided anew.
 	looksBeside = 200 * time.Millisecond
 	// drainFrom, drainOver: how an operator's drain moves what stands. Callers come for
@@ -82,12 +86,36 @@
 }
 
 // takePlace takes this process's place beside another, where there may be one; else
-// it returns nil.
-func takePlace(c config.Config, l net.Listener) (*beside.Place, error) {
+// it returns nil. What the other holds and can't hand over ends the start, and not the
+// other.
+func takePlace(c config.Config, l net.Listener, own operator.File) (*beside.Place, error) {
 	if c.Inherited == 0 {
 		return nil, nil
 	}
-	return beside.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
+	place, err := beside.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
+	if err != nil || !place.Lives() {
+		return place, err
+	}
+	held := ""
+	switch {
+	case own.Resume.Enabled:
+		held = "resume.enabled: the ledger"
+	case own.UDP.Listen != "":
+		held = "udp.listen: the flows' socket"
+	default:
+		return place, nil
+	}
+	place.Close()
+	return nil, fmt.Errorf("%s belongs to the process that serves here, and can't be taken over: end that one first", held)
+}
+
+// share is how many sockets the process beside this one uses, of those that both may.
+func share(place *beside.Place, mine int) int {
+	there, lives := place.Share(mine)
+	if lives {
+		there += besideSockets
+	}
+	return there
 }
 
 // heir is the successor that takes what stands, or nil: then it is moved.
--- a/internal/beside/beside.go
+++ b/internal/beside/beside.go
@@ -91,20 +91,20 @@
 }
 
 // Share tells how many sockets this process uses, and returns how many the other
-// does. It takes a few microseconds, without waiting for the other.
-func (p *Place) Share(mine int) (other int) {
+// does, if it lives. It takes a few microseconds, without waiting for the other.
+func (p *Place) Share(mine int) (other int, lives bool) {
 	if p == nil {
-		return 0
+		return 0, false
 	}
 	p.use(mine)
 	var b [8]byte
 	if !p.Lives() {
-		return 0
+		return 0, false
 	}
 	if _, err := p.file.ReadAt(b[:], at(1-p.mine)); err != nil {
-		return 0
+		return 0, true
 	}
-	return int(min(binary.LittleEndian.Uint64(b[:]), 1<<20)) // whatever stands there, it is no larger
+	return int(min(binary.LittleEndian.Uint64(b[:]), 1<<20)), true // whatever stands there, it is no larger
 }
 
 // Close gives the place up.
--- a/internal/beside/beside_test.go
+++ b/internal/beside/beside_test.go
@@ -18,6 +18,11 @@
 	return p
 }
 
+func shared(p *Place, mine int) int {
+	n, _ := p.Share(mine)
+	return n
+}
+
 // Two processes learn of each other and of each other's sockets, and of an end at
 // once; whatever a file of before says counts for nothing.
 func TestPlaces(t *testing.T) {
@@ -31,21 +36,21 @@
 				}
 			}
 			old := take(t, dir)
-			if old.Lives() || old.Share(100) != 0 {
+			if old.Lives() || shared(old, 100) != 0 {
 				t.Error("a process alone sees another")
 			}
 			next := take(t, dir)
-			if there := next.Share(7); !next.Lives() || there != 100 {
+			if there := shared(next, 7); !next.Lives() || there != 100 {
 				t.Errorf("the new one sees %d sockets", there)
 			}
-			if there := old.Share(99); !old.Lives() || there != 7 {
+			if there := shared(old, 99); !old.Lives() || there != 7 {
 				t.Errorf("the old one sees %d sockets", there)
 			}
 			if _, err := Take(dir, "[::1]:7070", time.Now().Add(3*again)); !errors.Is(err, ErrFull) {
 				t.Errorf("a third: %v", err)
 			}
 			old.Close()
-			if next.Lives() || next.Share(1) != 0 {
+			if next.Lives() || shared(next, 1) != 0 {
 				t.Error("the old one's end is not seen")
 			}
 			take(t, dir) // its place is free
@@ -63,7 +68,7 @@
 		t.Error("a folder passes for the file")
 	}
 	var alone *Place
-	if alone.Lives() || alone.Share(3) != 0 {
+	if alone.Lives() || shared(alone, 3) != 0 {
 		t.Error("a process that shares with nobody sees another")
 	}
 	alone.Close()
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -18,7 +18,7 @@
 
 const (
 	// Callers is how many may call at once, and so how many sockets they take.
-	Callers = 32
+	Callers = 16
 	// patience is how long a caller may take for its line.
 	patience = 3 * time.Second
 	// glance is what a caller who has to make room is still given for a line that
