Fewer attempts hold at once, also for who waits for one

A request that had made as many attempts as are now allowed and waited for a probe was sent once more: only the end of an attempt looked at the limit. Whether a request is hopeless asks it now, so the end needs no check of its own. Tests of settings that change and of what counts as avoided.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,6 +141,7 @@
 		b.probed(e)
 	case Retuned:
 		b.tune(e.Settings)
+		b.giveUpHopeless()
 	}
 	out := b.out
 	b.out = nil
@@ -579,14 +580,16 @@
 	return r.class.Deadline
 }
 
-// hopeless tells whether no ready server may be sent r. Then it is answered at once:
-// to wait for another server would only keep its client from asking again. Before
-// the first list all may still come.
+// hopeless tells whether r has no attempt left, or no ready server may be sent it. Then
+// it is answered at once: to wait for another server would only keep its client from
+// asking again. Before the first list all may still come.
 func (b *Balancer) hopeless(r *request) bool {
-	return b.listed && !slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(r, s) })
+	return r.attempts >= b.set.Limits.MaxAttempts ||
+		b.listed && !slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(r, s) })
 }
 
-// giveUpHopeless answers those whom the last server that they could go to has left.
+// giveUpHopeless answers those whom the last server that they could go to has left, or
+// who are allowed fewer attempts than they have made.
 func (b *Balancer) giveUpHopeless() {
 	var left []*request
 	for _, r := range b.bySeq {
@@ -757,7 +760,7 @@
 		}
 		again = o == Errored && r.class.Effect != Unsafe
 	}
-	if !again || r.attempts >= b.set.Limits.MaxAttempts || b.now >= r.giveUp {
+	if !again {
 		b.finish(r)
 		return
 	}
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -342,3 +342,79 @@
 		}
 	}
 }
+
+// Other settings hold for what is asked from then on: fewer attempts for all, also for
+// who waits for one; another effect or deadline only for who comes later.
+func TestRetuned(t *testing.T) {
+	set := settings()
+	set.Limits.MaxAttempts = 4
+	set.Classes = []Class{{Name: "c", Aim: 300 * ms, Deadline: time.Second}}
+	d := newBench(t, set, "a", "b", "c", "d")
+	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}
+	fail := func(id string, n int, o Outcome) []Action {
+		r := d.b.requests[id]
+		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.at.ID, Outcome: o, Load: NoLoad})
+	}
+	retry := func(id string, actions []Action) {
+		t.Helper()
+		for len(pick[Attempt](actions)) == 0 {
+			p := pick[Probe](actions)
+			if len(p) == 0 {
+				t.Fatalf("%s: %v", id, actions)
+			}
+			actions = d.tell(ProbeAnswer{Server: p[0].Server, Outcome: OK, Latency: ms, Load: report(0.1, 5)})
+		}
+	}
+	drawsUntilPlaced(d, "old", loads)
+	drawsUntilPlaced(d, "waits", loads)
+	retry("old", fail("old", 0, Errored))
+	waits := fail("waits", 0, Full) // draws again, and waits for a probe
+	if len(pick[Probe](waits)) == 0 {
+		t.Fatalf("%v", waits)
+	}
+
+	next := set
+	next.Limits.MaxAttempts = 1
+	next.Classes = []Class{{Name: "c", Aim: 300 * ms, Deadline: time.Second, Effect: Unsafe}, {Name: "new", Aim: 300 * ms, Deadline: time.Second}}
+	if got := pick[Refuse](d.tell(Retuned{next})); len(got) != 1 || got[0].ID != "waits" {
+		t.Errorf("of those that have made as many as are allowed now, refused: %v", got)
+	}
+	if got := fail("old", 1, Errored); len(pick[Refuse](got)) != 1 {
+		t.Errorf("an old request, whose repeats do no harm: %v", got)
+	}
+	drawsUntilPlaced(d, "later", loads)
+	if got := fail("later", 0, Errored); len(pick[Fail](got)) != 1 {
+		t.Errorf("a request of the stricter class: %v", got)
+	}
+	next.Limits.MaxAttempts = 2
+	d.tell(Retuned{next})
+	drawsUntilPlaced(d, "again", loads)
+	retry("again", fail("again", 0, Full))
+	if d.b.classes["new"] == nil || len(d.b.classes) != 2 {
+		t.Errorf("classes %v", d.b.classes)
+	}
+}
+
+// What is avoided is who drains and who has failed more than the others of late.
+func TestAvoided(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c")
+	expect := func(n int, when string) {
+		t.Helper()
+		if got := d.b.Avoided(); got != n {
+			t.Errorf("%s: %d avoided, want %d", when, got, n)
+		}
+	}
+	expect(0, "at first")
+	silent := ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad}
+	d.tell(silent)
+	expect(0, "after one failure")
+	d.tell(silent)
+	expect(1, "after two")
+	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Draining}}})
+	expect(2, "while another drains")
+	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Gone}}})
+	expect(1, "when that is gone")
+	d.now += 30 * time.Second
+	d.tell(TimerFired{})
+	expect(0, "later")
+}
