--- a/internal/exchange/heir.go
+++ b/internal/exchange/heir.go
@@ -36,8 +36,7 @@
 	defer t.mu.Unlock()
 	if t.hop != nil && !t.moving && !t.gone && !t.closing && t.heir == nil {
 		t.heir = to
-		t.caller.Wake()
-		t.hop.Wake()
+		t.caller.Wake() // which wakes the relay when it has stopped
 	}
 }
 
@@ -47,7 +46,8 @@
 	return t.heir != nil
 }
 
-// pass hands over what both relays have stopped for.
+// pass hands over what both relays have stopped for. If it is not taken, its caller is to
+// be moved.
 func (t *Transaction) pass(hop *leg.Leg) End {
 	t.mu.Lock()
 	gone, to := t.gone, t.heir
@@ -59,12 +59,7 @@
 	case to.Take(s, t.caller.Conn, hop.Conn):
 		return HandedOver
 	}
-	_ = hop.Close()
-	_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
-	t.caller.FinishWrites()
-	_ = t.caller.SetReadDeadline(time.Now().Add(linger))
-	t.caller.Drain()
-	return Moved
+	return t.cut(hop, Moved)
 }
 
 // Inherit returns the transaction of what another process has handed over. Run serves it
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -51,7 +51,11 @@
 		how := t.relay(a)
 		if how == HandedOver {
 			<-done
-			how = t.pass(a.hop)
+			if how = t.pass(a.hop); how == Moved {
+				done = t.drop() // beside the write, as its caller may be writing too
+				_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
+				t.caller.FinishWrites()
+			}
 		}
 		a.hop.Release()
 		t.watch.Ended(t, how.outcome())
@@ -66,6 +70,17 @@
 	t.caller.Release()
 }
 
+// drop reads and drops what the caller still writes, until its leg's read deadline.
+func (t *Transaction) drop() (done chan struct{}) {
+	done = make(chan struct{})
+	_ = t.caller.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(done)
+		t.caller.Drain()
+	}()
+	return done
+}
+
 // readCaller notices that the caller leaves and, after UP, passes its lines on.
 func (t *Transaction) readCaller() {
 	switch err := t.await(); {
@@ -89,7 +104,10 @@
 		t.leave()
 	}
 	if t.yields() {
-		return // what else it sends is the heir's
+		// What else it sends is the heir's. Only now may the relay stop: a next hop that
+		// is not read any more might not take the line that was on its way to it.
+		hop.Wake()
+		return
 	}
 	// The next hop has ended: the relay sees it too and bounds this read.
 	t.caller.Drain()
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -137,6 +137,13 @@
 	b.look()
 }
 
+// Retuned takes that other settings hold: so many attempts are allowed from now on.
+func (b *Book) Retuned(now time.Duration, attempts int) {
+	b.Pass(now)
+	b.terms.Attempts = attempts
+	b.look()
+}
+
 // Asked takes a new request. Its id may be one whose request is over.
 func (b *Book) Asked(now time.Duration, id string, deadline time.Duration, r Repeats) {
 	b.Pass(now)
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +19,7 @@
 	"coralrelay/balance"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/decide"
+	"coralrelay/internal/exchange"
 	"coralrelay/internal/figures"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/roster"
@@ -28,19 +32,26 @@
 // average: together they say how fast a server can take new ones.
 const room, life = 40, 3 * time.Second
 
+// connect is how long a connection to a feed server may take.
+const connect = 250 * ms
+
 // scene is a node, from its listener to its branches, between clients, feed servers
 // and a roster that are in trouble most of the time. Connections are pipes and time is
 // the bubble's, so that what happens at once happens at one time. The book is kept
 // from outside: by what clients and feed servers see.
 type scene struct {
-	t     *testing.T
-	begun time.Time
-	core  *decide.Core
-	hops  *nexthop.Hops
-	front chan net.Conn // to the node's listener
-	ends  sync.WaitGroup
+	t         *testing.T
+	begun     time.Time
+	set       balance.Settings
+	node      *node          // that new clients come to
+	operators sync.Mutex     // one at a time
+	ended     sync.WaitGroup // of those that it has replaced
+	front     chan net.Conn  // to the node's listener
+	ends      sync.WaitGroup
 
 	mu    sync.Mutex
+	nodes []*node              // that are told of servers
+	up    map[string]time.Time // since when connections stand, by request
 	rng   *rand.Rand
 	book  *rules.Book
 	feeds map[string]*feed
@@ -59,8 +70,129 @@
 	flapping kind = iota // servers come and go, refuse and break off
 	hanging              // the same, and connections may take their time
 	crowded              // a full fleet, one of whose servers starts anew, cold and empty
+	drained              // flapping, and operators empty the node and bring it back
+	retuned              // flapping, and the settings change
+	replaced             // flapping, and successors take over from the node
 )
 
+// node is one process.
+type node struct {
+	core   *decide.Core
+	hops   *nexthop.Hops
+	server *caller.Server
+	door   listener
+	cancel context.CancelFunc
+	parts  sync.WaitGroup
+}
+
+// start starts a process, which is told what the last one was.
+func (s *scene) start(list ...roster.Entry) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
+	n.hops = nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+	n.hops.Dial = s.dial
+	core, err := decide.New(decide.NewClock(), uint64(s.upTo(time.Hour)), s.set, n.hops, noRoster{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n.core = core
+	n.hops.Watch(core)
+	n.server = caller.New(core, n.hops, caller.Limits{Sockets: 1000})
+	n.server.Figures = s.count
+	n.parts.Go(func() { core.Run(ctx) })
+	n.tell(balance.ListFull, list)
+	s.mu.Lock()
+	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
+	n.parts.Go(func() { _ = n.server.Serve(n.door) })
+	return n
+}
+
+func (n *node) tell(kind balance.ListKind, entries []roster.Entry) {
+	u := roster.Update{Kind: kind, Entries: entries}
+	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
+	n.core.Listed(u.List())
+}
+
+// end lets a process end: at once, or as one that is replaced.
+func (s *scene) end(n *node, heir exchange.Heir) {
+	_ = n.door.Close()
+	if heir != nil {
+		now := time.Now()
+		end := now.Add(1400 * ms)
+		n.server.Drain(caller.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
+		if took := time.Since(now); took > 1400*ms {
+			s.t.Errorf("it took %v to leave", took)
+		}
+		if left := n.server.Open(); left > 0 {
+			s.t.Errorf("%d connections were not answered, handed over or moved", left)
+		}
+	}
+	n.server.Close()
+	s.mu.Lock()
+	s.nodes = slices.DeleteFunc(s.nodes, func(o *node) bool { return o == n })
+	s.mu.Unlock()
+	n.cancel()
+	n.parts.Wait()
+}
+
+// replace has a successor take over from the node, which takes its time to end.
+func (s *scene) replace() {
+	s.mu.Lock()
+	var list []roster.Entry
+	for _, f := range s.feeds {
+		list = append(list, f.entry)
+	}
+	s.mu.Unlock()
+	old := s.node
+	s.node = s.start(list...)
+	next := s.node
+	s.ended.Go(func() { s.end(old, heir{s, next.server}) })
+}
+
+// heir is the successor, as its socket would have it. Now and then it takes nothing.
+type heir struct {
+	s  *scene
+	to *caller.Server
+}
+
+func (h heir) Take(st exchange.Standing, c, hop net.Conn) bool {
+	if h.s.chance(0.1) {
+		return false
+	}
+	st.FromCaller, st.FromHop = bytes.Clone(st.FromCaller), bytes.Clone(st.FromHop) // as the wire does
+	a, b := c.(*handle), hop.(*handle)
+	a.given.Store(true)
+	b.given.Store(true)
+	if h.to.Adopt(st, &handle{Conn: a.Conn}, &handle{Conn: b.Conn}) {
+		return true
+	}
+	a.given.Store(false)
+	b.given.Store(false)
+	return false
+}
+
+// handle is a process's own copy of a connection: once another process has one too,
+// closing this one ends nothing.
+type handle struct {
+	net.Conn
+	given atomic.Bool
+}
+
+func (h *handle) Close() error {
+	if h.given.Load() {
+		return nil
+	}
+	return h.Conn.Close()
+}
+
+func (h *handle) SetReadDeadline(t time.Time) error {
+	if h.given.Load() {
+		return nil
+	}
+	return h.Conn.SetReadDeadline(t)
+}
+
 // feed is a feed server as the scene has it.
 type feed struct {
 	id    string
@@ -152,7 +284,7 @@
 	near, far := net.Pipe()
 	a := &attempt{Conn: near, s: s}
 	s.ends.Go(func() { s.serve(addr, far, a) })
-	return a, nil
+	return &handle{Conn: a}, nil
 }
 
 // serve is a feed server's side of one connection.
@@ -226,7 +358,7 @@
 	s.mu.Lock()
 	s.feeds[server].conns[conn] = true
 	s.mu.Unlock()
-	lasts := s.upTo(2 * life)
+	lasts := ms + s.upTo(2*life) // its client has noted the answer by then
 	s.ends.Go(func() { // its end, unless the other side's comes before
 		time.Sleep(lasts)
 		if s.chance(0.5) {
@@ -253,9 +385,56 @@
 			b.Told(now, e.ID, rules.State(e.State), started)
 		}
 	})
-	u := roster.Update{Kind: kind, Entries: entries}
-	s.hops.Update(kind != balance.ListDelta, entries, time.Now())
-	s.core.Listed(u.List())
+	s.mu.Lock()
+	nodes := slices.Clone(s.nodes)
+	s.mu.Unlock()
+	for _, n := range nodes {
+		n.tell(kind, entries)
+	}
+}
+
+// operate has operators empty the node, for as long as it takes or shorter, and bring it
+// back. What stood when it was emptied must be told to go within the plan.
+func (s *scene) operate() {
+	if !s.operators.TryLock() {
+		return
+	}
+	defer s.operators.Unlock()
+	now := time.Now()
+	s.node.server.LameDuck(caller.Plan{Refuse: now.Add(600 * ms), From: now.Add(300 * ms), Until: now.Add(1500 * ms), End: now.Add(time.Hour)})
+	if s.node.server.TakesClients() {
+		s.t.Error("it takes clients while it is emptied")
+	}
+	if s.chance(0.5) {
+		time.Sleep(s.upTo(time.Second)) // in the middle of it
+		s.node.server.Rejoin()
+		s.node.server.Rejoin()
+	} else {
+		s.node.server.LameDuck(caller.Plan{}) // changes nothing
+		time.Sleep(2 * time.Second)
+		s.mu.Lock()
+		for id, since := range s.up {
+			if since.Before(now) {
+				s.t.Errorf("%s stands since %v and was not told to go", id, since.Sub(s.begun))
+			}
+		}
+		s.mu.Unlock()
+		s.node.server.Rejoin()
+	}
+	if !s.node.server.TakesClients() {
+		s.t.Error("it takes no clients after the drain")
+	}
+}
+
+// retune changes how many attempts are allowed.
+func (s *scene) retune() {
+	s.mu.Lock()
+	s.set.Limits.MaxAttempts = 1 + s.rng.IntN(4)
+	set := s.set
+	s.mu.Unlock()
+	s.node.core.Retune(set)
+	synctest.Wait() // it is in force
+	s.note(func(b *rules.Book, now time.Duration) { b.Retuned(now, set.Limits.MaxAttempts) })
 }
 
 // trouble changes one server's state: it drains, goes, comes back as it was or as a
@@ -299,7 +478,7 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	s.note(func(b *rules.Book, now time.Duration) { b.Asked(now, id, now+wait, rules.Repeats{}) })
-	s.front <- near
+	s.front <- &handle{Conn: near}
 	if _, err := fmt.Fprintf(far, "OPEN %s k c=feed,d=%d\r\n", id, wait.Milliseconds()); err != nil {
 		s.t.Errorf("%s: %v", id, err)
 	}
@@ -311,19 +490,28 @@
 		defer gone.Stop()
 	}
 	standing := false
+	defer func() {
+		s.mu.Lock()
+		delete(s.up, id)
+		s.mu.Unlock()
+	}()
 	for lines := bufio.NewScanner(far); lines.Scan(); {
 		switch word, _, _ := strings.Cut(lines.Text(), " "); {
 		case standing:
+			if lines.Text() == "MOVE" {
+				return // it comes again elsewhere
+			}
 			if lines.Text() == "yes" {
 				time.Sleep(300 * ms)
-				_ = far.SetWriteDeadline(time.Now().Add(time.Second))
-				fmt.Fprintf(far, "are you there\r\n")
+				s.say(far)
 			}
 		case word == "UP":
 			standing = true
+			s.mu.Lock()
+			s.up[id] = time.Now()
+			s.mu.Unlock()
 			s.answered(id, "served", rules.Served)
-			_ = far.SetWriteDeadline(time.Now().Add(time.Second))
-			fmt.Fprintf(far, "are you there\r\n")
+			s.say(far)
 		case word == "BUSY":
 			s.answered(id, "refused", rules.Refused)
 		default:
@@ -332,6 +520,15 @@
 	}
 }
 
+// say writes a client's line. It is read to meanwhile, as sockets have buffers and pipes
+// have not.
+func (s *scene) say(far net.Conn) {
+	s.ends.Go(func() {
+		_ = far.SetWriteDeadline(time.Now().Add(time.Second))
+		fmt.Fprintf(far, "are you there\r\n")
+	})
+}
+
 func (s *scene) answered(id, how string, a rules.Answer) {
 	s.note(func(b *rules.Book, now time.Duration) {
 		b.Answered(now, id, a)
@@ -341,7 +538,7 @@
 
 // play runs a scene to its end and returns it.
 func play(t *testing.T, seed uint64, k kind) *scene {
-	const span, connect = 30 * time.Second, 250 * ms
+	const span = 30 * time.Second
 	feeds, pause, prompt, rate := 4, 60*ms, time.Duration(0), 0.0
 	switch k {
 	case hanging: // nobody outside sees an attempt before its connection is there
@@ -354,29 +551,13 @@
 		Rules:   balance.Rules{DrainGrace: 300 * ms, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: 1500 * ms},
 		Limits:  balance.Limits{Probes: true, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: time.Second},
 		Reports: balance.Reports{ByProbe: true}}
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &scene{t: t, begun: time.Now(), front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
+	s := &scene{t: t, begun: time.Now(), set: set, up: map[string]time.Time{}, front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
 		feeds: map[string]*feed{}, over: map[string]int{},
 		kind: k,
 		book: rules.NewBook(rules.Terms{Attempts: 4, Drain: 300 * ms, Prompt: prompt, Ramp: 20 * time.Second,
 			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
-	s.hops = nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
-	s.hops.Dial = s.dial
-	core, err := decide.New(decide.NewClock(), seed, set, s.hops, noRoster{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.core = core
-	s.hops.Watch(core)
-	var node sync.WaitGroup
-	node.Go(func() { core.Run(ctx) })
-	server := caller.New(core, s.hops, caller.Limits{Sockets: 1000})
 	s.count = &figures.Book{}
 	s.count.Name("feed")
-	server.Figures = s.count
-	door := listener{s.front, make(chan struct{})}
-	node.Go(func() { _ = server.Serve(door) })
-
 	var list []roster.Entry
 	for i := range feeds {
 		f := &feed{id: fmt.Sprint("s", i), conns: map[net.Conn]bool{}}
@@ -384,6 +565,7 @@
 		s.feeds[f.id] = f
 		list = append(list, f.entry)
 	}
+	s.node = s.start(list...)
 	s.tell(balance.ListFull, list...)
 	var clients sync.WaitGroup
 	started := false
@@ -393,6 +575,13 @@
 		case k == crowded && !started && time.Since(s.begun) > span/3:
 			started = true
 			s.restart("s0")
+		case k == drained && s.chance(0.02):
+			clients.Go(s.operate)
+		case k == retuned && s.chance(0.03):
+			s.retune()
+		case k == replaced && s.chance(0.02):
+			s.ended.Wait() // two processes at most
+			s.replace()
 		case k == crowded || s.chance(0.9):
 			leaves := s.chance(0.2)
 			clients.Go(func() { s.client(leaves) })
@@ -406,11 +595,9 @@
 	for _, id := range s.book.Owed() {
 		t.Errorf("%s was never answered", id)
 	}
-	_ = door.Close()
-	server.Close()
+	s.ended.Wait()
+	s.end(s.node, nil)
 	clients.Wait()
-	cancel()
-	node.Wait()
 	s.ends.Wait()
 	return s
 }
@@ -419,7 +606,8 @@
 // probes, answers, drains, cancels and ends. That the bubble ends shows that nothing
 // of the node outlives it.
 func TestNodeKeepsTheRules(t *testing.T) {
-	for name, k := range map[string]kind{"flapping": flapping, "hanging": hanging, "crowded": crowded} {
+	for name, k := range map[string]kind{"flapping": flapping, "hanging": hanging, "crowded": crowded, "drained": drained,
+		"retuned": retuned, "replaced": replaced} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
