Tests of drains, handovers, first lines in pieces and operators beside a crowd

A handover message cut off by the kernel passed as whole: its third socket was dropped unseen. It is turned down now.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -192,7 +192,11 @@
 	if lists.udp != nil {
 		sockets = max(sockets-own.UDP.Sockets, leastSockets)
 	}
-	limits := caller.Limits{Sockets: sockets - min(spareSockets, sockets/4), Pause: pause(c.Settings.Limits)}
+	spare := min(spareSockets, sockets/4)
+	if c.Mgmt != "" {
+		spare = max(spare, besideSockets) // operators are answered however many callers there are
+	}
+	limits := caller.Limits{Sockets: sockets - spare, Pause: pause(c.Settings.Limits)}
 	if place != nil {
 		limits.Share = func(mine int) int { return share(place, mine) }
 		parts.Go(func() { shareMemory(ctx, place, c.Limits) })
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -68,6 +69,11 @@
 // are tested.
 func TestMain(m *testing.M) {
 	if os.Getenv("BALANCER_CONFIG") != "" {
+		if n, err := strconv.Atoi(os.Getenv("TEST_NOFILE")); err == nil {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(n), Max: uint64(n)}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -28,9 +28,9 @@
 }
 
 // start starts one; inherited, if there is one, becomes its descriptor 4.
-func startProcess(t *testing.T, path, tmp string, inherited *os.File) *process {
+func startProcess(t *testing.T, path, tmp string, inherited *os.File, args ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0]), t: t, mgmt: free(t), log: &bytes.Buffer{}, end: make(chan error, 1)}
+	p := &process{Cmd: exec.Command(os.Args[0], args...), t: t, mgmt: free(t), log: &bytes.Buffer{}, end: make(chan error, 1)}
 	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.mgmt, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
 	if inherited != nil {
 		p.Env = append(p.Env, "BALANCER_INHERITED_FD=4")
@@ -281,3 +281,33 @@
 		t.Error(err)
 	}
 }
+
+// What the old process holds and can't hand over ends a successor's start with the reason,
+// and the old one has lost nothing.
+func TestSuccessorCannotHave(t *testing.T) {
+	for key, own := range map[string]string{
+		"resume.enabled": fmt.Sprintf(`{"resume":{"enabled":true,"keys":%q,"ledger":{"dir":%q}}}`, switchedOn(t).Resume.Keys, t.TempDir()),
+		"udp.listen":     fmt.Sprintf(`{"udp":{"listen":%q}}`, free(t)),
+	} {
+		t.Run(key, func(t *testing.T) {
+			var got atomic.Int32
+			hop := listen(t, nextHop(&got))
+			addr, file := held(t)
+			dir, tmp := t.TempDir(), t.TempDir()
+			path, operators := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
+			configure(t, path, addr, names(t, hop), hop, 1024)
+			if err := os.WriteFile(operators, []byte(own), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			old := startProcess(t, path, tmp, file, "--config", operators)
+			old.until("PING", "200")
+			next := startProcess(t, path, tmp, file, "--config", operators)
+			if err := next.ends(patience); err == nil || !strings.Contains(next.log.String(), key) {
+				t.Errorf("%v: %s", err, next.log)
+			}
+			if s := call(t, addr, open("a")).line(); s != "UP r1" {
+				t.Errorf("at the old one: %q", s)
+			}
+		})
+	}
+}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"coralrelay/balance"
@@ -23,6 +25,58 @@
 func (decider) CallerGone(decide.Item)             {}
 func (decider) Ended(decide.Item, balance.Outcome) {}
 
+// door is a listener that hands out what is put into it.
+type door chan net.Conn
+
+func (d door) Accept() (net.Conn, error) {
+	if c, ok := <-d; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (d door) Close() error { close(d); return nil }
+func (door) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A first line may come in any pieces, and its caller may go after any of them: the
+// whole line is taken, half of one never is, and nothing is left behind, as the bubble
+// would not end then.
+func TestPieces(t *testing.T) {
+	const text = "OPEN a k c=feed,d=900\r\n"
+	for cut := range len(text) {
+		for _, goes := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				d, l := make(decider, 1), make(door)
+				s := New(d, nil, Limits{Sockets: 16})
+				served := make(chan error, 1)
+				go func() { served <- s.Serve(l) }()
+				near, far := net.Pipe()
+				l <- near
+				for _, piece := range []string{text[:cut/2], text[cut/2 : cut]} {
+					if piece != "" {
+						fmt.Fprint(far, piece)
+					}
+					time.Sleep(500 * time.Millisecond) // of the bubble's time
+				}
+				if !goes {
+					fmt.Fprint(far, text[cut:])
+					answer, _ := bufio.NewReader(far).ReadString('\n')
+					if answer != "BUSY\r\n" || len(d) != 1 {
+						t.Errorf("cut at %d: %q, %d taken", cut, answer, len(d))
+					}
+				}
+				far.Close()
+				synctest.Wait()
+				if goes && len(d) > 0 {
+					t.Errorf("cut at %d: half a line was taken", cut)
+				}
+				_ = l.Close()
+				<-served
+				s.Close()
+			})
+		}
+	}
+}
+
 // Whatever time a caller asks for, it holds its sockets no longer than the
 // protocol has a use for.
 func TestDeadlineIsBounded(t *testing.T) {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -91,12 +91,12 @@
 	defer func() { slog.Info("handover: taken over", "connections", n) }()
 	message, rights := make([]byte, largest), make([]byte, unix.CmsgSpace(2*4))
 	for {
-		size, oob, _, _, err := conn.ReadMsgUnix(message, rights)
+		size, oob, flags, _, err := conn.ReadMsgUnix(message, rights)
 		if err != nil || size == 0 {
 			return
 		}
 		answer := kept
-		if err := adopt(message[:size], rights[:oob], to); err != nil {
+		if err := adopt(message[:size], rights[:oob], flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) == 0, to); err != nil {
 			slog.Warn("handover: a connection is not taken", "err", err)
 		} else {
 			answer = taken
@@ -110,15 +110,18 @@
 }
 
 // adopt has one connection gone on with.
-func adopt(message, rights []byte, to Taker) error {
+func adopt(message, rights []byte, whole bool, to Taker) error {
 	conns, err := received(rights)
+	if err == nil && !whole {
+		err = errors.New("a message came cut off")
+	}
 	give := func() {
 		for _, c := range conns {
 			_ = c.Close() // the giver's copies stay open
 		}
 	}
 	if err == nil && len(conns) != 2 {
-		err = fmt.Errorf("%d connections came, want 2", len(conns))
+		err = fmt.Errorf("%d connections in a message, want 2", len(conns))
 	}
 	var s exchange.Standing
 	if err == nil {
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -359,7 +359,7 @@
 	s.feeds[server].conns[conn] = true
 	s.mu.Unlock()
 	lasts := ms + s.upTo(2*life) // its client has noted the answer by then
-	s.ends.Go(func() { // its end, unless the other side's comes before
+	s.ends.Go(func() {           // its end, unless the other side's comes before
 		time.Sleep(lasts)
 		if s.chance(0.5) {
 			_ = conn.SetWriteDeadline(time.Now().Add(ms))
