Count a neighbour's sockets beside the callers' lock, and serve at once when alone

The old process told its sockets only when somebody came to it; once it accepts nobody that number stood still, and a successor that had taken its connections over counted them twice. A goroutine tells and learns every 50 ms now, which also takes the file out from under the lock that operators' calls need. A process that starts alone waited 2 s for the list while clients lay in the queue. SIGHUP storms beside a replacement are tested.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -197,11 +197,14 @@
 		spare = max(spare, besideSockets) // operators are answered however many callers there are
 	}
 	limits := caller.Limits{Sockets: sockets - spare, Pause: pause(c.Settings.Limits)}
+	other := &neighbour{place: place}
 	if place != nil {
-		limits.Share = func(mine int) int { return share(place, mine) }
-		parts.Go(func() { shareMemory(ctx, place, c.Limits) })
+		limits.Elsewhere = other.elsewhere
 	}
 	server := caller.New(core, hops, limits)
+	if place != nil {
+		parts.Go(func() { other.watch(ctx, c.Limits, server.Sockets) })
+	}
 	book := &figures.Book{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
@@ -226,6 +229,8 @@
 		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), server); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
+	}
+	if place.Lives() { // who serves meanwhile; alone, clients would wait
 		awaitList(terminate, lists.known)
 	}
 	served := make(chan error, 1)
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,8 +33,8 @@
 	// besideSockets are what a process needs besides its callers and their branches:
 	// operators' calls, probes, discovery, listeners.
 	besideSockets = mgmt.Callers + 24
-	// looksBeside is how often the memory is divided anew.
-	looksBeside = 200 * time.Millisecond
+	// looksBeside is how old the word on the process beside this one may be.
+	looksBeside = 50 * time.Millisecond
 	// drainFrom, drainOver: how an operator's drain moves what stands. Callers come for
 	// 0.2 s after the front has heard; all have to be told within 4 s.
 	drainRefuse, drainFrom, drainOver = 600 * time.Millisecond, 350 * time.Millisecond, 2500 * time.Millisecond
@@ -109,15 +110,6 @@
 	return nil, fmt.Errorf("%s belongs to the process that serves here, and can't be taken over: end that one first", held)
 }
 
-// share is how many sockets the process beside this one uses, of those that both may.
-func share(place *beside.Place, mine int) int {
-	there, lives := place.Share(mine)
-	if lives {
-		there += besideSockets
-	}
-	return there
-}
-
 // heir is the successor that takes what stands, or nil: then it is moved.
 func heir(place *beside.Place) *handover.Giver {
 	g, err := handover.Give(os.TempDir(), place.Other())
@@ -128,12 +120,27 @@
 	return g
 }
 
-// shareMemory leaves half of the memory to the process beside this one while it lives.
-func shareMemory(ctx context.Context, place *beside.Place, l config.Limits) {
+// neighbour is the process beside this one, as it was a moment ago: nobody who asks waits
+// for a file.
+type neighbour struct {
+	place   *beside.Place
+	sockets atomic.Int64 // that it uses
+}
+
+func (n *neighbour) elsewhere() int { return int(n.sockets.Load()) }
+
+// watch tells the other process what this one uses, learns what the other does, and leaves
+// half of the memory to it while it lives. It ends with ctx.
+func (n *neighbour) watch(ctx context.Context, l config.Limits, used func() int) {
 	tick := time.NewTicker(looksBeside)
 	defer tick.Stop()
 	for was := false; ; {
-		if lives := place.Lives(); lives != was {
+		there, lives := n.place.Share(used())
+		if lives {
+			there += besideSockets
+		}
+		n.sockets.Store(int64(there))
+		if lives != was {
 			was = lives
 			share := heap(l)
 			if lives {
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -166,8 +166,15 @@
 		})
 	}
 	begun := time.Now()
-	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	for i, p := range []*process{old, next, old, next, old, old, next, old} { // a storm beside it
+		if i == 3 {
+			if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
 	}
 	old.until("PING", "400")
 	halves := func(from, to int, text string) { // some are in the middle of a line
--- a/internal/beside/beside.go
+++ b/internal/beside/beside.go
@@ -91,7 +91,7 @@
 }
 
 // Share tells how many sockets this process uses, and returns how many the other
-// does, if it lives. It takes a few microseconds, without waiting for the other.
+// does, if it lives.
 func (p *Place) Share(mine int) (other int, lives bool) {
 	if p == nil {
 		return 0, false
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -55,9 +55,9 @@
 type Limits struct {
 	Sockets int           // that may be in use: one for a caller, one more for its branch
 	Pause   time.Duration // asked of callers who are refused unseen; 0 if none may be
-	// Share tells a process beside this one how many are in use here, and returns how
-	// many are there; nil where no such process can be.
-	Share func(mine int) (there int)
+	// Elsewhere is how many of them a process beside this one uses; nil where there can
+	// be none. It returns at once.
+	Elsewhere func() int
 }
 
 // Server serves callers.
@@ -95,6 +95,13 @@
 // SetPause changes what callers who are refused unseen are asked to wait.
 func (s *Server) SetPause(d time.Duration) { s.pause.Store(int64(d)) }
 
+// Sockets is how many are in use, or may be.
+func (s *Server) Sockets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.legs) + len(s.running)
+}
+
 // Open counts the connections that were taken and have not ended.
 func (s *Server) Open() int {
 	s.mu.Lock()
@@ -263,8 +270,8 @@
 // caller that has waited longest, under the lock.
 func (s *Server) room() bool {
 	used := len(s.legs) + len(s.running)
-	if s.limits.Share != nil {
-		used += s.limits.Share(used)
+	if s.limits.Elsewhere != nil {
+		used += s.limits.Elsewhere()
 	}
 	if used < s.limits.Sockets {
 		return true
