--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -416,19 +415,9 @@
 	first, firstCalls := discovery()
 	second, secondCalls := discovery()
 	configure(t, path, addr, first, hop, 1024)
-	process := exec.Command(os.Args[0])
-	process.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_DISCOVERY="+first)
-	process.Stderr = t.Output()
-	if err := process.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { process.Process.Kill(); process.Wait() })
-	signal := func(s os.Signal) {
-		t.Helper()
-		if err := process.Process.Signal(s); err != nil {
-			t.Fatal(err)
-		}
-	}
+	t.Setenv("BALANCER_DISCOVERY", first)
+	process := startProcess(t, path, t.TempDir(), nil)
+	signal := process.signal
 	ready(t, addr)
 	standing := call(t, addr, open("a"))
 	if s := standing.line(); s != "UP r1" {
@@ -459,8 +448,8 @@
 		t.Errorf("at the restart %q", s)
 	}
 	signal(syscall.SIGHUP)
-	if err := process.Wait(); err != nil {
-		t.Errorf("the node ended with %v", err)
+	if err := process.ends(patience); err != nil {
+		t.Errorf("the node ended with %v\n%s", err, process.log)
 	}
 	expect(secondCalls, true, "the second watch ends with the node, and none came between")
 }
--- a/cmd/coralrelay/operations_test.go
+++ b/cmd/coralrelay/operations_test.go
@@ -52,9 +52,7 @@
 	}
 	standing = append(standing, up("late"))
 	tell("LAMEDUCK", "200")
-	if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-		t.Fatal(err)
-	}
+	p.signal(syscall.SIGHUP)
 	for i, c := range standing {
 		if s := c.line(); s != "MOVE" {
 			t.Errorf("connection %d: %q", i, s)
@@ -81,15 +79,7 @@
 		t.Errorf("after the end of a drain: %q", s)
 	}
 	tell("LAMEDUCK", "200")
-	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if s := stays.line(); s != "MOVE" {
-		t.Errorf("at the end: %q", s)
-	}
-	if err := p.ends(patience); err != nil {
-		t.Error(err)
-	}
+	p.movesAndEnds(stays)
 }
 
 // However many callers there are, operators are answered: the descriptors that they need
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.Process.Signal(s); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// movesAndEnds has it end: what stands is moved, and it ends in good order.
+func (p *process) movesAndEnds(standing *client) {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	if s := standing.line(); s != "MOVE" {
+		p.t.Errorf("at the end: %q", s)
+	}
+	if err := p.ends(patience); err != nil {
+		p.t.Errorf("it ended with %v\n%s", err, p.log)
+	}
+}
+
 func (p *process) ends(within time.Duration) error {
 	p.t.Helper()
 	select {
@@ -168,13 +187,9 @@
 	begun := time.Now()
 	for i, p := range []*process{old, next, old, next, old, old, next, old} { // a storm beside it
 		if i == 3 {
-			if err := old.Process.Signal(syscall.SIGTERM); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
+			old.signal(syscall.SIGTERM)
 		}
+		p.signal(syscall.SIGHUP)
 	}
 	old.until("PING", "400")
 	halves := func(from, to int, text string) { // some are in the middle of a line
@@ -278,15 +293,7 @@
 			t.Fatal(err)
 		}
 	}
-	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if s := c.line(); s != "MOVE" {
-		t.Errorf("standing: %q", s)
-	}
-	if err := old.ends(patience); err != nil {
-		t.Error(err)
-	}
+	old.movesAndEnds(c)
 }
 
 // What the old process holds and can't hand over ends a successor's start with the reason,
--- a/cmd/coralrelay/retune_test.go
+++ b/cmd/coralrelay/retune_test.go
@@ -38,9 +38,7 @@
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if err := p.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+		p.signal(syscall.SIGHUP)
 		p.untilHas(fmt.Sprintf("balancer.cfg_accepted:%d|c\r\nbalancer.cfg_invalid:%d|c\r\n", accepted, invalid))
 	}
 	ask := func(id, class string) string {
@@ -90,15 +88,7 @@
 		t.Errorf("the discovery %s was called", name)
 	case <-time.After(50 * time.Millisecond):
 	}
-	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	if s := standing.line(); s != "MOVE" {
-		t.Errorf("at the end: %q", s)
-	}
-	if err := p.ends(patience); err != nil {
-		t.Error(err)
-	}
+	p.movesAndEnds(standing)
 	for _, key := range []string{"settings.classes[0].deadline", "settings.limits.mostTries", "BALANCER_CONFIG"} {
 		if !strings.Contains(p.log.String(), key) {
 			t.Errorf("the log does not name %s:\n%s", key, p.log)
