--- a/internal/rig/resume.go
+++ b/internal/rig/resume.go
@@ -67,6 +67,7 @@
 	gaps    *hdrhistogram.Histogram          // microseconds
 	setups  map[bool]*hdrhistogram.Histogram // to UP, by whether a token was presented
 	begins  map[bool]*hdrhistogram.Histogram // from UP to the stream's begin, likewise
+	deck    []int                            // the kinds of faults that come next
 	busy    map[string]time.Time             // a server's or node's next fault, at the earliest
 }
 
@@ -285,10 +286,20 @@
 	// move to; a plan that finds none free waits for its turn.
 	server := s.servers[s.rng.IntN(len(s.servers))]
 	node := s.nodes[s.rng.IntN(len(s.nodes))]
-	kind := s.rng.IntN(10)
+	if len(s.deck) == 0 {
+		s.deck = s.rng.Perm(10) // all kinds come in a short scene too
+	}
+	kind := s.deck[0]
+	s.deck = s.deck[1:]
+	happens := false
+	defer func() {
+		if !happens {
+			s.deck = append(s.deck, kind)
+		}
+	}()
 	switch {
 	case kind < 4:
-		if free("drained", 1200*time.Millisecond) && free(server.Name, 6*time.Second) {
+		if happens = free("drained", 1200*time.Millisecond) && free(server.Name, 6*time.Second); happens {
 			s.Add("drains", 1)
 			away := time.Duration(0)
 			if kind%2 == 0 {
@@ -297,7 +308,7 @@
 			wg.Go(func() { s.drain(ctx, server, away) })
 		}
 	case kind < 5:
-		if free(server.Name, 3*time.Second) {
+		if happens = free(server.Name, 3*time.Second); happens {
 			s.Add("overloads", 1)
 			wg.Go(func() {
 				server.Report(1.3)
@@ -306,12 +317,12 @@
 			})
 		}
 	case kind < 6:
-		if free("killed", 4*time.Second) && free(server.Name, 8*time.Second) {
+		if happens = free("killed", 4*time.Second) && free(server.Name, 8*time.Second); happens {
 			s.Add("servers killed", 1)
 			wg.Go(func() { s.fall(ctx, s.roster, server, s.names, 200*time.Millisecond, 800*time.Millisecond) })
 		}
 	case kind < 8:
-		if free("node", 4*time.Second) {
+		if happens = free("node", 4*time.Second); happens {
 			s.Add("planned restarts", 1)
 			wg.Go(func() {
 				if err := node.Restart(ctx); err != nil && ctx.Err() == nil {
@@ -320,7 +331,7 @@
 			})
 		}
 	default:
-		if free("node", 3*time.Second) && free(server.Name, 6*time.Second) {
+		if happens = free("node", 3*time.Second) && free(server.Name, 6*time.Second); happens {
 			// Clients are told to move, and the node falls among their returns.
 			s.Add("nodes killed", 1)
 			wg.Go(func() { s.drain(ctx, server, 0) })
