Join beacons of one size into one message that the kernel cuts again

Runs keep order and count; where the way there can't cut, the batch is sent apart and joined no more.

--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -32,6 +32,7 @@
 	may    bool
 	queue  []ipv4.Message // written by flush; their buffers are those of the read batch
 	heads  [][longestProxy]byte
+	runs   runs
 	queued bool // it is among the front's due
 }
 
@@ -151,19 +152,28 @@
 		return
 	}
 	out.queue = out.queue[:0]
-	refused := false
 	if now := time.Now(); now.Add(writing).After(out.until) {
 		out.until = now.Add(2 * writing) // not for each batch: it costs as much as a datagram
 		_ = out.conn.SetWriteDeadline(out.until)
 	}
-	for len(list) > 0 {
-		n, err := out.packets.WriteBatch(list, 0)
-		f.Counts.Forwarded.Add(int64(max(n, 0)))
-		list = list[max(n, 0):]
-		if err != nil && len(list) > 0 { // too large, no buffers, refused: that datagram alone is lost
-			f.Counts.Unsent.Add(1)
-			list = list[1:]
-			refused = refused || isRefused(err)
+	refused := false
+	messages := out.runs.join(list)
+	for at := 0; at < len(messages); {
+		n, err := out.packets.WriteBatch(messages[at:], 0)
+		for n = max(n, 0); n > 0; n-- {
+			f.Counts.Forwarded.Add(int64(out.runs.length(at)))
+			at++
+		}
+		switch {
+		case err == nil || at == len(messages):
+		case isRefused(err):
+			refused = true // of something before: this one may still go, but to nobody
+			fallthrough
+		case out.runs.length(at) == 1: // too large, or no buffers: that datagram alone is lost
+			f.Counts.Unsent.Add(int64(out.runs.length(at)))
+			at++
+		default: // the way there can't cut runs, it seems
+			messages, at = out.runs.part(at), 0
 		}
 	}
 	if refused {
