Two processes of a node keep to one cold budget, and a successor learns what the old one knew

Cause: each process keeps a cold server's budget by itself; the least that it holds, four at once however small the server, was there twice.

Change: Settings.Beside halves that least while the other process lives; on SIGTERM the old one tells its successor, before what stands, what it sent to whom of late, loads, faults and rates (balance.Memory, in messages of 64 servers). A memory that can't be true is not taken.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -139,6 +139,8 @@
 		b.timer(e.Token)
 	case ProbeAnswer:
 		b.probed(e)
+	case Learned:
+		b.learn(e.Memory)
 	case Retuned:
 		b.tune(e.Settings)
 		b.giveUpHopeless()
@@ -289,7 +291,11 @@
 		return s.slot >= 0
 	}
 	each := b.coldRate(w) / float64(max(len(b.ready), 1)) * s.sent.span.Seconds()
-	return s.sent.left(b.now) <= max(each-1, spared)
+	least := spared
+	if b.set.Beside { // the other process sends it as many
+		least /= 2
+	}
+	return s.sent.left(b.now) <= max(each-1, least)
 }
 
 // coldShare is the part of its draws that a cold server of the given warmth
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -418,3 +419,67 @@
 	d.tell(TimerFired{})
 	expect(0, "later")
 }
+
+// What one process has learned another goes on by, but not of a server that has started
+// anew since, and nothing that can't be true.
+func TestLearned(t *testing.T) {
+	set := settings()
+	d := newBench(t, set, "a", "b", "c")
+	loads := map[string]float64{"a": 0.6, "b": 0.6, "c": 0.6}
+	for i := range 12 {
+		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+	}
+	d.tell(ProbeAnswer{Server: "b", Outcome: TimedOut, Load: NoLoad})
+	d.tell(ProbeAnswer{Server: "b", Outcome: TimedOut, Load: NoLoad})
+	m := d.b.Recall(d.now)
+	next := func(m Memory) *bench {
+		n := newBench(t, set, "a", "b", "c")
+		n.now = d.now
+		n.tell(ListUpdate{Entries: []ServerEntry{{ID: "c", Started: n.now}}})
+		n.tell(Learned{m})
+		return n
+	}
+	n := next(m)
+	if n.b.Avoided() != 1 || n.b.usual != d.b.usual || n.b.rtt != d.b.rtt {
+		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.Avoided(), n.b.usual, n.b.rtt, d.b.usual, d.b.rtt)
+	}
+	sent := func(b *Balancer, id string) float64 { return b.servers[id].sent.left(n.now) }
+	if sent(n.b, "a") == 0 || sent(n.b, "a") != sent(d.b, "a") || sent(n.b, "c") != 0 {
+		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.b, "a"), sent(d.b, "a"), sent(n.b, "c"))
+	}
+	n.tell(Learned{m}) // a third process was beside these
+	if sent(n.b, "a") != 2*sent(d.b, "a") || n.b.Avoided() != 1 {
+		t.Errorf("what two have sent: %v, %d avoided", sent(n.b, "a"), n.b.Avoided())
+	}
+	for name, change := range map[string]func(m *Memory){
+		"no number":     func(m *Memory) { m.Usual = math.NaN() },
+		"endless":       func(m *Memory) { m.Late = math.Inf(1) },
+		"negative":      func(m *Memory) { m.Servers[1].Sent = -1 },
+		"not yet there": func(m *Memory) { m.Age = -1 },
+	} {
+		bad := m
+		bad.Servers = slices.Clone(m.Servers)
+		change(&bad)
+		if n := next(bad); sent(n.b, "a") != 0 || n.b.usual != 0 || n.b.Avoided() != 0 {
+			t.Errorf("%s: part of it was taken", name)
+		}
+	}
+}
+
+// While another process of this instance places too, the least that a cold server is sent
+// at once is shared.
+func TestBesideSharesTheLeast(t *testing.T) {
+	for beside, want := range map[bool]int{false: 4, true: 2} {
+		set := settings()
+		set.Beside = beside
+		d := newBench(t, set, "a", "b", "c", "d")
+		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", Started: d.now}}})
+		s, n := d.b.servers["a"], 0
+		for ; d.b.mayTake(s); n++ {
+			s.sent.add(d.b.now, 1)
+		}
+		if n != want {
+			t.Errorf("beside another %v: %d at once, want %d", beside, n, want)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -140,6 +141,64 @@
 	}
 }
 
+// Recall tells what this process has learned, for another one of this instance.
+func (b *Balancer) Recall(now time.Duration) Memory {
+	b.now = max(b.now, now)
+	m := Memory{Age: b.now - b.bornAt, Usual: b.usual, Answers: b.answers, Trip: b.rtt, TripDev: b.rttDev,
+		Late: b.rate[0].left(b.now), First: b.rate[1].left(b.now), Hint: b.hint, Hints: b.hints}
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		s := b.servers[id]
+		m.Servers = append(m.Servers, KnownServer{ID: id, Started: s.Started, Load: s.load, Each: s.each,
+			Placed: s.placed.left(b.now), Faults: s.faults.left(b.now), Sent: s.sent.left(b.now)})
+	}
+	return m
+}
+
+// learn adds what another process has learned to what this one has. Of a server that has
+// started anew nothing is known.
+func (b *Balancer) learn(m Memory) {
+	if !m.sound() {
+		return
+	}
+	b.bornAt = min(b.bornAt, b.now-m.Age)
+	b.rate[0].add(b.now, m.Late)
+	b.rate[1].add(b.now, m.First)
+	b.usual, b.answers = mean(b.usual, b.answers, m.Usual, m.Answers, samples)
+	b.hint, b.hints = mean(b.hint, b.hints, m.Hint, m.Hints, 64)
+	if b.rtt == 0 {
+		b.rtt, b.rttDev = m.Trip, m.TripDev
+	}
+	for _, k := range m.Servers {
+		s := b.servers[k.ID]
+		if s == nil || s.Started != k.Started {
+			continue
+		}
+		s.sent.add(b.now, k.Sent)
+		s.placed.add(b.now, k.Placed)
+		s.faults.add(b.now, max(0, k.Faults-s.faults.left(b.now))) // both may mean the same
+		if s.load < 0 {
+			s.load, s.each = k.Load, k.Each
+		}
+	}
+}
+
+// sound tells whether m can be true: it comes from outside.
+func (m *Memory) sound() bool {
+	figures := []float64{m.Usual, m.Answers, m.Trip, m.TripDev, m.Late, m.First, m.Hint, m.Hints}
+	for _, k := range m.Servers {
+		figures = append(figures, k.Load+1, k.Each, k.Placed, k.Faults, k.Sent) // -1 is no load
+	}
+	return m.Age >= 0 && !slices.ContainsFunc(figures, func(x float64) bool { return !(x >= 0 && x <= mostConns) })
+}
+
+// mean is that of two means, each seen in so many, and in how many it is, up to a most.
+func mean(x, n, y, m, most float64) (float64, float64) {
+	if m == 0 {
+		return x, n
+	}
+	return (x*n + y*m) / (n + m), min(n+m, most)
+}
+
 // Check names the first setting that can't be worked with.
 func (s *Settings) Check() error {
 	switch {
--- a/balance/types.go
+++ b/balance/types.go
@@ -20,6 +20,7 @@
 	ListAsked bool          // the server list comes only after Subscribe or FetchList
 	AskWithin time.Duration // an asked list is deemed told after this without a call
 	AskNow    bool          // this instance starts alone: it need not spread its first call
+	Beside    bool          // another process places for this instance too, for a while
 	Rules     Rules
 	Limits    Limits
 	Reports   Reports
@@ -208,7 +209,33 @@
 // keeps its class.
 type Retuned struct{ Settings }
 
+// Learned brings what another process of this instance has learned, which ends. What
+// stands with it comes as OpenConn.
+type Learned struct{ Memory }
+
+// Memory is what a process has learned of its fleet that takes its time to learn anew, or
+// that a cold server's budget goes by.
+type Memory struct {
+	Age           time.Duration // of the process
+	Usual         float64       // load, as seen in so many
+	Answers       float64
+	Trip, TripDev float64 // a probe's usual time and its deviation, seconds
+	Late, First   float64 // placements of late, and of first arrivals, as far as they count yet
+	Hint, Hints   float64 // the mean of hints, as seen in so many
+	Servers       []KnownServer
+}
+
+// KnownServer is what a process has learned of a server. What it has placed there, held
+// against it and sent it is as far as it counts yet.
+type KnownServer struct {
+	ID                   string
+	Started              time.Duration
+	Load, Each           float64
+	Placed, Faults, Sent float64
+}
+
 func (ListUpdate) event()   {}
+func (Learned) event()      {}
 func (Retuned) event()      {}
 func (Request) event()      {}
 func (OpenConn) event()     {}
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -202,13 +202,13 @@
 		limits.Elsewhere = other.elsewhere
 	}
 	server := caller.New(core, hops, limits)
-	if place != nil {
-		parts.Go(func() { other.watch(ctx, c.Limits, server.Sockets) })
-	}
 	book := &figures.Book{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
 	server.Figures = book
+	if place != nil {
+		parts.Go(func() { other.watch(ctx, c.Limits, server.Sockets, inForce.beside) })
+	}
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
 		return err
@@ -226,7 +226,7 @@
 		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
-		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), server); err != nil {
+		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
 	}
@@ -239,14 +239,14 @@
 
 	<-terminate.Done()
 	resume.leave()
-	leave(server, listener, place, min(inForce.longest(), longestDrain))
+	leave(server, core, listener, place, min(inForce.longest(), longestDrain))
 	err = <-served
 	server.Close()
 	return err
 }
 
 // leave empties the node for good, within the longest deadline and a little more.
-func leave(server *caller.Server, listener net.Listener, place *beside.Place, longest time.Duration) {
+func leave(server *caller.Server, core *decide.Core, listener net.Listener, place *beside.Place, longest time.Duration) {
 	begun := time.Now()
 	succeeded := place.Lives()
 	slog.Info("draining", "longest", longest, "successor", succeeded)
@@ -255,6 +255,7 @@
 		_ = listener.Close()
 		plan.Refuse, plan.From = plan.End, begun
 		if g := heir(place); g != nil {
+			g.Tell(core.Recall())
 			plan.Heir = g
 			defer g.Close()
 		}
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"coralrelay/balance"
 	"coralrelay/internal/beside"
 	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
@@ -130,8 +131,8 @@
 func (n *neighbour) elsewhere() int { return int(n.sockets.Load()) }
 
 // watch tells the other process what this one uses, learns what the other does, and leaves
-// half of the memory to it while it lives. It ends with ctx.
-func (n *neighbour) watch(ctx context.Context, l config.Limits, used func() int) {
+// half of the memory to it while it lives; whoever else goes by that is told. It ends with ctx.
+func (n *neighbour) watch(ctx context.Context, l config.Limits, used func() int, beside func(lives bool)) {
 	tick := time.NewTicker(looksBeside)
 	defer tick.Stop()
 	for was := false; ; {
@@ -147,6 +148,7 @@
 				share /= 2
 			}
 			debug.SetMemoryLimit(share)
+			beside(lives)
 			slog.Info("beside another process of this node", "lives", lives)
 		}
 		select {
@@ -168,6 +170,14 @@
 	}
 }
 
+// successor goes on with what another process hands over.
+type successor struct {
+	*caller.Server
+	core *decide.Core
+}
+
+func (s successor) Learn(m balance.Memory) { s.core.Learn(m) }
+
 // operations are what operators may ask of the node.
 type operations struct {
 	*caller.Server
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -27,7 +27,8 @@
 	current config.Config
 }
 
-// take brings a configuration into force with the parts that count and bound by it.
+// take brings a configuration into force with the parts that count and bound by it, under
+// the lock if they are at work.
 func (l *live) take(c config.Config) {
 	names := []string{}
 	for _, class := range c.Settings.Classes {
@@ -36,16 +37,22 @@
 	l.book.Name(names...) // before anybody is served by them
 	l.hops.Limit(hopLimits(c.Settings))
 	l.server.SetPause(pause(c.Settings.Limits))
+	l.current = c
+}
+
+// beside is told whether another process places for this node too.
+func (l *live) beside(lives bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.current = c
+	l.current.Settings.Beside = lives
+	l.core.Retune(l.current.Settings)
 }
 
 // reload reads the platform's configuration again: all of a file takes force, or none.
 func (l *live) reload() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	c := l.current
-	l.mu.Unlock()
 	next, fixed, err := c.Reload(os.Getenv)
 	if err != nil {
 		l.book.Invalid.Add(1)
@@ -55,6 +62,7 @@
 	if len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
+	next.Settings.Beside = c.Settings.Beside // not the file's to say
 	l.take(next)
 	l.core.Retune(next.Settings)
 	l.watch.Follow(next.Discovery)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -113,6 +113,21 @@
 // waits for nobody.
 func (c *Core) Avoided() int { return int(c.avoided.Load()) }
 
+// Recall is what the module has learned, and Learn tells it what another process's has.
+func (c *Core) Recall() (m balance.Memory) {
+	told := make(chan balance.Memory, 1)
+	c.post(func() { told <- c.balancer.Recall(c.clock.At(time.Now())) })
+	select {
+	case m = <-told:
+	case <-c.done:
+	}
+	return m
+}
+
+func (c *Core) Learn(m balance.Memory) {
+	c.post(func() { c.handle(balance.Learned{Memory: m}) })
+}
+
 // Run handles events until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.done)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,6 @@
 // Package handover passes standing connections from a process to its successor: over a
-// Unix socket, one message for each, with the two sockets in it, and one answer.
+// Unix socket, one message for each, with the two sockets in it, and one answer. Messages
+// without sockets tell what the process has learned of its fleet.
 package handover
 
 import (
@@ -17,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"coralrelay/balance"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 )
@@ -32,11 +34,18 @@
 	kept    = "not taken"
 )
 
-// Taker goes on with a connection. *caller.Server does.
+// Taker goes on with connections, and by what the other process has learned.
 type Taker interface {
 	Adopt(s exchange.Standing, caller, hop net.Conn) bool
+	Learn(m balance.Memory)
 }
 
+// lesson is a message without connections.
+type lesson struct{ Learned *balance.Memory }
+
+// servers is how many a message tells of: a fleet may be larger than a message.
+const servers = 64
+
 // socket finds the address of a name in a folder. It must be short, so it names the folder
 // by its descriptor.
 func socket(dir, name string, then func(addr *net.UnixAddr) error) error {
@@ -95,11 +104,16 @@
 		if err != nil || size == 0 {
 			return
 		}
-		answer := kept
-		if err := adopt(message[:size], rights[:oob], flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) == 0, to); err != nil {
+		answer := taken
+		if oob == 0 && flags&unix.MSG_CTRUNC == 0 {
+			if err := learn(message[:size], to); err != nil {
+				slog.Warn("handover: what was learned is not taken", "err", err)
+				answer = kept
+			}
+		} else if err := adopt(message[:size], rights[:oob], flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) == 0, to); err != nil {
 			slog.Warn("handover: a connection is not taken", "err", err)
+			answer = kept
 		} else {
-			answer = taken
 			n++
 		}
 		_ = conn.SetWriteDeadline(time.Now().Add(within))
@@ -109,6 +123,19 @@
 	}
 }
 
+// learn passes on what a message says was learned.
+func learn(message []byte, to Taker) error {
+	var l lesson
+	if err := json.Unmarshal(message, &l); err != nil {
+		return err
+	}
+	if l.Learned == nil {
+		return errors.New("a message has no connections and teaches nothing")
+	}
+	to.Learn(*l.Learned)
+	return nil
+}
+
 // adopt has one connection gone on with.
 func adopt(message, rights []byte, whole bool, to Taker) error {
 	conns, err := received(rights)
@@ -212,31 +239,52 @@
 	if g.conn == nil {
 		return false
 	}
-	answer, err := g.send(text, caller, hop)
-	if err != nil {
-		slog.Warn("handover: what is left is moved", "err", err)
-		_ = g.conn.Close()
-		g.conn = nil
+	return g.send(func() (err error) {
+		return with(caller, func(a int) error {
+			return with(hop, func(b int) error {
+				_, _, err := g.conn.WriteMsgUnix(text, unix.UnixRights(a, b), nil)
+				return err
+			})
+		})
+	})
+}
+
+// Tell passes on what this process has learned. It is called before connections follow.
+func (g *Giver) Tell(m balance.Memory) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for all := m.Servers; g.conn != nil; {
+		n := min(servers, len(all))
+		m.Servers, all = all[:n], all[n:]
+		text, err := json.Marshal(lesson{&m})
+		if err != nil || len(text) > largest || !g.send(func() error { _, err := g.conn.Write(text); return err }) {
+			slog.Warn("handover: what was learned is not passed on", "err", err, "bytes", len(text))
+			return
+		}
+		if len(all) == 0 {
+			return
+		}
+		m = balance.Memory{} // the rest counts once
 	}
-	return err == nil && answer == taken
 }
 
-func (g *Giver) send(text []byte, caller, hop net.Conn) (answer string, err error) {
-	if err := g.conn.SetDeadline(time.Now().Add(within)); err != nil {
-		return "", err
+// send has a message written and waits for the word on it, under the lock.
+func (g *Giver) send(write func() error) bool {
+	err := g.conn.SetDeadline(time.Now().Add(within))
+	if err == nil {
+		err = write()
+	}
+	var b [len(kept)]byte
+	n := 0
+	if err == nil {
+		n, err = g.conn.Read(b[:])
 	}
-	err = with(caller, func(a int) error {
-		return with(hop, func(b int) error {
-			_, _, err := g.conn.WriteMsgUnix(text, unix.UnixRights(a, b), nil)
-			return err
-		})
-	})
 	if err != nil {
-		return "", err
+		slog.Warn("handover: what is left is moved", "err", err)
+		_ = g.conn.Close()
+		g.conn = nil
 	}
-	var b [len(kept)]byte
-	n, err := g.conn.Read(b[:])
-	return string(b[:n]), err
+	return err == nil && string(b[:n]) == taken
 }
 
 // with lends a connection's descriptor.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"testing"
@@ -13,17 +14,19 @@
 
 	"golang.org/x/sys/unix"
 
+	"coralrelay/balance"
 	"coralrelay/internal/exchange"
 	"coralrelay/internal/leg"
 )
 
 // taker keeps what it is given, unless it wants nothing.
 type taker struct {
-	mu     sync.Mutex
-	wants  bool
-	given  []exchange.Standing
-	caller []net.Conn
-	hop    []net.Conn
+	mu      sync.Mutex
+	wants   bool
+	given   []exchange.Standing
+	caller  []net.Conn
+	hop     []net.Conn
+	learned []balance.Memory
 }
 
 func (k *taker) Adopt(s exchange.Standing, caller, hop net.Conn) bool {
@@ -35,6 +38,12 @@
 	return k.wants
 }
 
+func (k *taker) Learn(m balance.Memory) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.learned = append(k.learned, m)
+}
+
 func (k *taker) last() (s exchange.Standing, caller, hop net.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -132,6 +141,41 @@
 	}
 }
 
+// What was learned of a fleet larger than a message arrives, and what is no fleet's counts
+// once; then connections follow.
+func TestTells(t *testing.T) {
+	dir := t.TempDir()
+	k := &taker{wants: true}
+	serve(t, dir, k)
+	g := give(t, dir)
+	m := balance.Memory{Age: time.Minute, Usual: 0.5, Answers: 16, Late: 3}
+	for i := range 1000 {
+		m.Servers = append(m.Servers, balance.KnownServer{ID: fmt.Sprint("s-", i, strings.Repeat("x", 100)), Started: time.Hour, Load: -1, Sent: 1.0 / 3})
+	}
+	g.Tell(m)
+	g.Tell(balance.Memory{Usual: 0.25, Answers: 1}) // of no fleet
+	caller, _ := pair(t)
+	hop, _ := pair(t)
+	if !g.Take(exchange.Standing{Server: "s1"}, caller, hop) {
+		t.Error("a connection was not taken after it")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var got balance.Memory
+	for i, l := range k.learned {
+		if i == 0 {
+			got = l
+			got.Servers = nil
+		} else if l.Late != 0 || l.Age != 0 {
+			t.Errorf("message %d has again what counts once: %+v", i, l)
+		}
+		got.Servers = append(got.Servers, l.Servers...)
+	}
+	if !reflect.DeepEqual(got, m) || k.learned[len(k.learned)-1].Usual != 0.25 {
+		t.Errorf("%d servers arrived of %d, %+v", len(got.Servers), len(m.Servers), k.learned[0])
+	}
+}
+
 // What is not taken, for whatever reason, stays the giver's and works.
 func TestNotTaken(t *testing.T) {
 	for name, start := range map[string]func(t *testing.T, dir string){
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -28,9 +28,9 @@
 
 const ms = time.Millisecond
 
-// room is how many connections fill a feed server, and life how long one lasts on
-// average: together they say how fast a server can take new ones.
-const room, life = 40, 3 * time.Second
+// room is how many connections fill a feed server, small that of small ones, and life how
+// long one lasts on average: together they say how fast a server can take new ones.
+const room, small, life = 40, 12, 3 * time.Second
 
 // connect is how long a connection to a feed server may take.
 const connect = 250 * ms
@@ -46,6 +46,7 @@
 	node      *node          // that new clients come to
 	operators sync.Mutex     // one at a time
 	ended     sync.WaitGroup // of those that it has replaced
+	two       atomic.Bool    // one of them still lives
 	front     chan net.Conn  // to the node's listener
 	ends      sync.WaitGroup
 
@@ -61,6 +62,7 @@
 	count *figures.Book  // the node's own
 
 	kind kind
+	room float64
 }
 
 // kind is what is in trouble.
@@ -73,8 +75,12 @@
 	drained              // flapping, and operators empty the node and bring it back
 	retuned              // flapping, and the settings change
 	replaced             // flapping, and successors take over from the node
+	beside               // crowded, and two processes serve most of the time
 )
 
+// full tells whether it is a full fleet's.
+func (k kind) full() bool { return k == crowded || k == beside }
+
 // node is one process.
 type node struct {
 	core   *decide.Core
@@ -116,8 +122,9 @@
 
 // end lets a process end: at once, or as one that is replaced.
 func (s *scene) end(n *node, heir exchange.Heir) {
-	_ = n.door.Close()
-	if heir != nil {
+	if heir == nil {
+		_ = n.door.Close()
+	} else {
 		now := time.Now()
 		end := now.Add(1400 * ms)
 		n.server.Drain(caller.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
@@ -145,9 +152,25 @@
 	}
 	s.mu.Unlock()
 	old := s.node
+	s.two.Store(true)
+	s.set.Beside = true
 	s.node = s.start(list...)
 	next := s.node
-	s.ended.Go(func() { s.end(old, heir{s, next.server}) })
+	old.core.Retune(s.set)
+	s.ended.Go(func() {
+		defer func() {
+			set := s.set
+			set.Beside = false
+			next.core.Retune(set)
+			s.two.Store(false)
+		}()
+		if s.kind == beside {
+			time.Sleep(s.upTo(2 * time.Second))
+		}
+		_ = old.door.Close()
+		next.core.Learn(old.core.Recall())
+		s.end(old, heir{s, next.server})
+	})
 }
 
 // heir is the successor, as its socket would have it. Now and then it takes nothing.
@@ -270,7 +293,7 @@
 
 func (s *scene) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	switch {
-	case s.kind != crowded && s.chance(0.06):
+	case !s.kind.full() && s.chance(0.06):
 		return nil, errRefused
 	case s.kind == hanging && s.chance(0.05): // nothing comes back
 		late := time.NewTimer(time.Until(deadline))
@@ -318,7 +341,7 @@
 	s.mu.Lock()
 	conns := len(s.feeds[server].conns)
 	s.mu.Unlock()
-	x0 := fmt.Sprint(float64(conns) / room)
+	x0 := fmt.Sprint(float64(conns) / s.room)
 	switch {
 	case s.chance(0.05):
 		time.Sleep(600 * ms)
@@ -336,7 +359,7 @@
 func (s *scene) open(server string, conn net.Conn, a *attempt) bool {
 	time.Sleep(s.upTo(60 * ms))
 	switch {
-	case s.kind == crowded: // all that it is sent, which is the point
+	case s.kind.full(): // all that it is sent, which is the point
 	case s.chance(0.12):
 		a.over(rules.NotRun)
 		fmt.Fprintf(conn, "BUSY\r\n")
@@ -539,12 +562,14 @@
 // play runs a scene to its end and returns it.
 func play(t *testing.T, seed uint64, k kind) *scene {
 	const span = 30 * time.Second
-	feeds, pause, prompt, rate := 4, 60*ms, time.Duration(0), 0.0
+	feeds, pause, prompt, fill, rate := 4, 60*ms, time.Duration(0), float64(room), 0.0
 	switch k {
 	case hanging: // nobody outside sees an attempt before its connection is there
 		prompt = connect
 	case crowded:
 		feeds, pause, rate = 6, 20*ms, room/life.Seconds()
+	case beside: // of small servers, for which a few more are many
+		feeds, pause, fill, rate = 6, 60*ms, small, small/life.Seconds()
 	}
 	set := balance.Settings{Instances: 1, Tick: 4 * ms, ListAsked: true, AskWithin: 10 * time.Second,
 		Classes: []balance.Class{{Name: "feed", Aim: 300 * ms, Deadline: time.Second}},
@@ -553,7 +578,7 @@
 		Reports: balance.Reports{ByProbe: true}}
 	s := &scene{t: t, begun: time.Now(), set: set, up: map[string]time.Time{}, front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
 		feeds: map[string]*feed{}, over: map[string]int{},
-		kind: k,
+		kind: k, room: fill,
 		book: rules.NewBook(rules.Terms{Attempts: 4, Drain: 300 * ms, Prompt: prompt, Ramp: 20 * time.Second,
 			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
 	s.count = &figures.Book{}
@@ -572,7 +597,7 @@
 	for time.Since(s.begun) < span {
 		time.Sleep(s.upTo(pause))
 		switch {
-		case k == crowded && !started && time.Since(s.begun) > span/3:
+		case k.full() && !started && time.Since(s.begun) > span/3:
 			started = true
 			s.restart("s0")
 		case k == drained && s.chance(0.02):
@@ -582,7 +607,9 @@
 		case k == replaced && s.chance(0.02):
 			s.ended.Wait() // two processes at most
 			s.replace()
-		case k == crowded || s.chance(0.9):
+		case k == beside && s.chance(0.05) && !s.two.Load():
+			s.replace()
+		case k.full() || s.chance(0.9):
 			leaves := s.chance(0.2)
 			clients.Go(func() { s.client(leaves) })
 		default:
@@ -607,7 +634,7 @@
 // of the node outlives it.
 func TestNodeKeepsTheRules(t *testing.T) {
 	for name, k := range map[string]kind{"flapping": flapping, "hanging": hanging, "crowded": crowded, "drained": drained,
-		"retuned": retuned, "replaced": replaced} {
+		"retuned": retuned, "replaced": replaced, "beside": beside} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
