--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,7 +63,7 @@
 	// order, and for the draws a request has beyond its first.
 	coldPart = 0.5
 	// spared is how many connections, on top of the first, a cold server's budget at
-	// one instance holds at least: what so few weigh is chance.
+	// one instance holds at least: what so few weigh is chance. Its processes share it.
 	spared = 3.0
 	// relieveOver is the load above which a server sheds connections if it is
 	// also uneven times above the fleet's usual, down to that but not below
@@ -291,11 +291,7 @@
 		return s.slot >= 0
 	}
 	each := b.coldRate(w) / float64(max(len(b.ready), 1)) * s.sent.span.Seconds()
-	least := spared
-	if b.set.Beside { // the other process sends it as many
-		least /= 2
-	}
-	return s.sent.left(b.now) <= max(each-1, least)
+	return s.sent.left(b.now) <= max(each-1, spared/float64(b.set.Processes))
 }
 
 // coldShare is the part of its draws that a cold server of the given warmth
--- a/balance/edges_test.go
+++ b/balance/edges_test.go
@@ -468,10 +468,10 @@
 
 // While another process of this instance places too, the least that a cold server is sent
 // at once is shared.
-func TestBesideSharesTheLeast(t *testing.T) {
-	for beside, want := range map[bool]int{false: 4, true: 2} {
+func TestProcessesShareTheLeast(t *testing.T) {
+	for processes, want := range map[int]int{0: 4, 1: 4, 2: 2} {
 		set := settings()
-		set.Beside = beside
+		set.Processes = processes
 		d := newBench(t, set, "a", "b", "c", "d")
 		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", Started: d.now}}})
 		s, n := d.b.servers["a"], 0
@@ -479,7 +479,7 @@
 			s.sent.add(d.b.now, 1)
 		}
 		if n != want {
-			t.Errorf("beside another %v: %d at once, want %d", beside, n, want)
+			t.Errorf("%d processes: %d at once, want %d", processes, n, want)
 		}
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -125,7 +125,7 @@
 
 // tune takes settings. What is under way keeps its class, which is the old settings'.
 func (b *Balancer) tune(set Settings) {
-	set.Instances = max(set.Instances, 1)
+	set.Instances, set.Processes = max(set.Instances, 1), max(set.Processes, 1)
 	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
 	b.set, b.classes, b.slow = set, map[string]*Class{}, 0
 	b.rate[0].span, b.rate[1].span = max(set.Rules.FallAfter, settle), 10*max(set.Rules.FallAfter, settle)
--- a/balance/types.go
+++ b/balance/types.go
@@ -20,7 +20,7 @@
 	ListAsked bool          // the server list comes only after Subscribe or FetchList
 	AskWithin time.Duration // an asked list is deemed told after this without a call
 	AskNow    bool          // this instance starts alone: it need not spread its first call
-	Beside    bool          // another process places for this instance too, for a while
+	Processes int           // that place for this instance, each for itself; 0 means 1
 	Rules     Rules
 	Limits    Limits
 	Reports   Reports
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -44,7 +44,10 @@
 func (l *live) beside(lives bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.current.Settings.Beside = lives
+	l.current.Settings.Processes = 1
+	if lives {
+		l.current.Settings.Processes = 2
+	}
 	l.core.Retune(l.current.Settings)
 }
 
@@ -62,7 +65,7 @@
 	if len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
-	next.Settings.Beside = c.Settings.Beside // not the file's to say
+	next.Settings.Processes = c.Settings.Processes // not the file's to say
 	l.take(next)
 	l.core.Retune(next.Settings)
 	l.watch.Follow(next.Discovery)
--- a/internal/rules/scene_test.go
+++ b/internal/rules/scene_test.go
@@ -153,14 +153,14 @@
 	s.mu.Unlock()
 	old := s.node
 	s.two.Store(true)
-	s.set.Beside = true
+	s.set.Processes = 2
 	s.node = s.start(list...)
 	next := s.node
 	old.core.Retune(s.set)
 	s.ended.Go(func() {
 		defer func() {
 			set := s.set
-			set.Beside = false
+			set.Processes = 1
 			next.core.Retune(set)
 			s.two.Store(false)
 		}()
