Flows leave a next hop that falls silent, by its answers, probes or echoes

Need: only a refusal was seen; a hung server kept its flows, whose datagrams were gone. Evidence in internal/flow, pure: one that used to answer its flows and stops, or whose probes (or echoes, if the operator's file names one) fail for udp.silence.after. All its flows go then.

Cause of a second fault: a flow counts as up when it has a socket, and that halved the faults held against a server which nobody had asked; a start of no latency speaks for nobody now.

Also: a drain told while 2,000 flows wait, tested in both modes; the stand-ins listen below the ports that others are given, or one could not come back to its own.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -699,7 +699,9 @@
 
 func (b *Balancer) stands(e Started) {
 	if r := b.requests[e.ID]; r != nil && r.at != nil && r.phase == sent {
-		r.at.faults.sum /= 2
+		if e.Latency > 0 {
+			r.at.faults.sum /= 2
+		}
 		b.attach(r, r.at)
 		b.succeeded()
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -171,7 +171,8 @@
 	Server string
 }
 
-// Started says that a connection stands.
+// Started says that a connection stands. A Latency of 0 is that of one for which nobody
+// was asked, and speaks for no server.
 type Started struct {
 	ID      string
 	Attempt int
--- a/cmd/coralrelay/udp.go
+++ b/cmd/coralrelay/udp.go
@@ -40,7 +40,8 @@
 		Queue:   flow.Bounds{Count: o.Queue.Flow, Bytes: o.Queue.FlowBytes},
 		Room:    flow.Room{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
 		New:     flow.Pace{Rate: o.New.Rate, Burst: o.New.Burst, Newest: true},
-		Again:   flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, core, hops)
+		Silence: flow.SilenceOptions{After: o.Silence.After.Duration, Datagrams: o.Silence.Datagrams}, Echo: o.Silence.Echo,
+		Again: flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, core, hops)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -40,6 +40,7 @@
 	sockets: 256       // to next hops at once; taken from limits.sockets
 	proxy:   false     // a PROXY v2 header before each datagram
 	queue: {flow: 8, flow_bytes: 16384, all: 4096, all_bytes: 4194304}
+	silence: {after: "3s", datagrams: 20, echo: ""} // then a next hop's flows go elsewhere
 	sources: {rate: 100, burst: 200, slots: 65536}
 	new: {rate: 10000, burst: 1000}
 	again: {rate: 2000, burst: 200}
--- /dev/null
+++ b/internal/flow/evidence.go
@@ -0,0 +1,70 @@
+package flow
+
+import "time"
+
+// SilenceOptions say when a next hop counts as silent.
+type SilenceOptions struct {
+	After     time.Duration // nothing was heard of it for so long; 0 for never
+	Datagrams int           // and so many went unanswered, where it used to answer
+}
+
+// habit is the share of datagrams that a next hop must have answered to be one that
+// answers, and custom how many it must have been sent before that can be told.
+const (
+	habit  = 0.5
+	custom = 20
+)
+
+// Evidence is what speaks for a next hop being there: answers to flows, where it gives
+// any, and to whatever else asks for its health. Its zero value has none yet.
+type Evidence struct {
+	sent, answered float64 // until it was last heard of; halved now and then, as habits change
+	unanswered     int     // sent since then
+	since          time.Duration
+	failed         bool // nothing that asked for its health was answered since then
+	failedAt       time.Duration
+}
+
+// Sent notes a datagram to it.
+func (e *Evidence) Sent(now time.Duration) {
+	if e.unanswered++; e.unanswered == 1 {
+		e.since = now
+	}
+}
+
+// Heard notes an answer to a flow.
+func (e *Evidence) Heard() {
+	e.sent += float64(e.unanswered)
+	e.answered++
+	e.unanswered = 0
+	if e.sent > 50*custom {
+		e.sent, e.answered = e.sent/2, e.answered/2
+	}
+}
+
+// Asked notes whether it answered what asks for its health.
+func (e *Evidence) Asked(now time.Duration, ok bool) {
+	switch {
+	case ok:
+		e.failed = false
+	case !e.failed:
+		e.failed, e.failedAt = true, now
+	}
+}
+
+// Left notes that its flows have left it: what they were not answered is over with them,
+// and whoever comes next finds out anew. Its habit stays known.
+func (e *Evidence) Left() { e.unanswered, e.failed = 0, false }
+
+// Silent tells whether it is to be left. That what asks for its health is answered does
+// not save one that used to answer its flows: a hung one may do just that.
+func (e *Evidence) Silent(now time.Duration, o SilenceOptions) bool {
+	if o.After <= 0 {
+		return false
+	}
+	if e.failed && now-e.failedAt >= o.After {
+		return true
+	}
+	return o.Datagrams > 0 && e.unanswered >= o.Datagrams && now-e.since >= o.After &&
+		e.sent >= custom && e.answered >= habit*e.sent
+}
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	addr    string
 	leaving time.Time // when the roster told that it drains or is gone; zero if not
+	mute    bool      // it did not answer its last probe
 
 	probes chan struct{} // a probe is wanted
 	cancel context.CancelFunc
@@ -168,6 +169,18 @@
 	return p != nil && p.mayTake(now, h.limits.Load().Drain/2)
 }
 
+// Answers tells whether a next hop has answered its last probe; one that was never asked
+// passes.
+func (h *Hops) Answers(server string) bool {
+	p := h.get(server)
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.mute
+}
+
 // Leaving tells whether a next hop drains or is gone.
 func (h *Hops) Leaving(server string, now time.Time) bool {
 	p := h.get(server)
--- a/internal/nexthop/probe.go
+++ b/internal/nexthop/probe.go
@@ -66,6 +66,9 @@
 			outcome = probeOutcome(err, l != nil)
 			closeKept()
 		}
+		p.mu.Lock()
+		p.mute = outcome != balance.OK && outcome != balance.Errored
+		p.mu.Unlock()
 		h.watch.Probed(p.id, outcome, time.Since(begun), load)
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,6 +53,7 @@
 	Proxy   bool     `json:"proxy"`   // a PROXY v2 header before each datagram
 	Queue   Queue    `json:"queue"`
 	Sources Sources  `json:"sources"`
+	Silence Silence  `json:"silence"`
 	New     Pace     `json:"new"`
 	Again   Pace     `json:"again"`
 }
@@ -65,6 +66,13 @@
 	AllBytes  int `json:"all_bytes"`
 }
 
+// Silence says when a next hop of flows counts as silent.
+type Silence struct {
+	After     Duration `json:"after"`     // nothing was heard of it; 0 for never
+	Datagrams int      `json:"datagrams"` // unanswered, where it used to answer
+	Echo      string   `json:"echo"`      // a datagram that next hops answer; empty for their probes
+}
+
 // Sources bounds new flows of one source.
 type Sources struct {
 	Rate  float64 `json:"rate"`  // a second; 0 for no bound
@@ -108,7 +116,7 @@
 		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}},
 		UDP: UDP{Flows: 10_000, Idle: Duration{30 * time.Second}, Policy: "reserve", Reserve: 0.5, Settled: 3,
 			After: Duration{time.Second}, Mode: "flow", Sockets: 256, Queue: Queue{8, 16 << 10, 4096, 4 << 20},
-			Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, New: Pace{Rate: 10_000, Burst: 1000}, Again: Pace{Rate: 2000, Burst: 200}}}
+			Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, Silence: Silence{After: Duration{3 * time.Second}, Datagrams: 20}, New: Pace{Rate: 10_000, Burst: 1000}, Again: Pace{Rate: 2000, Burst: 200}}}
 }
 
 // Fault is what is wrong with one key.
@@ -147,6 +155,7 @@
 	oneOf("udp.policy", u.Policy, "reserve", "refuse", "idle")
 	within("udp.idle", u.Idle, 100*time.Millisecond, 24*time.Hour)
 	within("udp.after", u.After, 0, time.Hour)
+	within("udp.silence.after", u.Silence.After, 0, time.Hour)
 	number := func(key string, x, least, most float64) {
 		fault(!(x >= least && x <= most), key, x, fmt.Sprintf("%g to %g", least, most))
 	}
@@ -158,6 +167,8 @@
 	number("udp.queue.flow_bytes", float64(u.Queue.FlowBytes), 1, 1<<26)
 	number("udp.queue.all", float64(u.Queue.All), 1, 1<<24)
 	number("udp.queue.all_bytes", float64(u.Queue.AllBytes), 1, 1<<30)
+	number("udp.silence.datagrams", float64(u.Silence.Datagrams), 0, 1<<20)
+	number("length of udp.silence.echo", float64(len(u.Silence.Echo)), 0, 1024)
 	number("udp.sources.rate", u.Sources.Rate, 0, 1e9)
 	number("udp.sources.burst", u.Sources.Burst, 1, 1e9)
 	number("udp.sources.slots", float64(u.Sources.Slots), 2, 1<<26)
--- a/internal/operator/schema/operator.cue
+++ b/internal/operator/schema/operator.cue
@@ -68,6 +68,15 @@
 		all:        int & >=1 & <=16_777_216 | *4096
 		all_bytes:  int & >=1 & <=1_073_741_824 | *4_194_304
 	}
+	// when a next hop counts as silent, and its flows go elsewhere
+	silence: {
+		// nothing was heard of it for so long: up to 1h; 0s for never
+		after: #Duration | *"3s"
+		// and so many datagrams were not answered, where it used to answer; 0 to go by health alone
+		datagrams: int & >=0 & <=1_048_576 | *20
+		// a datagram that next hops answer, to ask for their health; empty for their probes
+		echo: string & =~"^.{0,1024}$" | *""
+	}
 	// new flows of one source: a second, at once, and slots of what counts them
 	sources: {
 		rate:  number & >=0 & <=1e9 | *100
--- a/internal/rig/udp.go
+++ b/internal/rig/udp.go
@@ -30,10 +30,11 @@
 
 // UDPSabotages are the guards that the scene can switch off.
 var UDPSabotages = map[string]string{
-	"drain":  "the node does not hear that a server drains",
-	"expiry": "the node forgets no flow",
-	"source": "the node does not bound new flows of one source",
-	"stale":  "the node passes replies on to flows that are over, or stand elsewhere",
+	"drain":   "the node does not hear that a server drains",
+	"expiry":  "the node forgets no flow",
+	"silence": "the node's flows stay with a next hop that has fallen silent",
+	"source":  "the node does not bound new flows of one source",
+	"stale":   "the node passes replies on to flows that are over, or stand elsewhere",
 }
 
 // beacons is how many flows are under way at once.
@@ -49,16 +50,20 @@
 	servers []*standin.Server
 	node    *Node
 
-	mu  sync.Mutex
-	at  map[string]string    // flow: the server that had its latest datagram
-	ill map[string]time.Time // server: when it last began to drain, fell or came back
+	mu   sync.Mutex
+	at   map[string]string    // flow: the server that had its latest datagram
+	ill  map[string]time.Time // server: when it last began to drain, fell or came back
+	hung map[string]time.Time // server: since when it answers nothing
 }
 
+// hangs is how long a server answers nothing, of which the node may take noticing.
+const hangs, noticing = 4 * time.Second, 1200 * time.Millisecond
+
 // UDP plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
 func UDP(ctx context.Context, o UDPOptions) (*Result, error) {
 	s := &udpScene{UDPOptions: o, Result: NewResult("udp", o.Seed), roster: standin.NewRoster(),
-		at: map[string]string{}, ill: map[string]time.Time{}}
+		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
 	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
 	if _, ok := UDPSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
@@ -87,6 +92,7 @@
 	if o.Shared || o.Sabotage == "stale" {
 		own.UDP.Mode, own.UDP.Proxy = "shared", true
 	}
+	own.UDP.Silence.After.Duration = 500 * time.Millisecond
 	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
 	s.node, err = NewNode(NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
 		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Sockets: o.Table + 2000})
@@ -188,7 +194,11 @@
 	for n := 0; standin.Sleep(ctx, 1500*time.Millisecond); n++ {
 		v := s.servers[rng.IntN(len(s.servers))]
 		s.mark(v.Name)
-		if n%3 != 1 {
+		if n%4 == 1 {
+			s.hang(ctx, v)
+			continue
+		}
+		if n%4 != 2 {
 			s.Add("drains", 1)
 			s.roster.Set(v.Name, standin.Leaving, time.Time{}, nil)
 			standin.Sleep(ctx, 1200*time.Millisecond)
@@ -202,6 +212,35 @@
 	}
 }
 
+// hang has a server answer nothing for a while, but for its probes.
+func (s *udpScene) hang(ctx context.Context, v *standin.Server) {
+	s.Add("servers hung", 1)
+	s.mu.Lock()
+	s.hung[v.Name] = time.Now()
+	s.mu.Unlock()
+	v.Hang(true)
+	standin.Sleep(ctx, hangs)
+	v.Hang(false)
+	s.mu.Lock()
+	delete(s.hung, v.Name)
+	s.mu.Unlock()
+	s.mark(v.Name)
+}
+
+// heard counts what comes while a server answers nothing, and what of it comes to that one
+// although the node has had the time to notice. The lock is held.
+func (s *udpScene) heard(d standin.Datagram) {
+	for server, since := range s.hung {
+		if d.At.Sub(since) < noticing {
+			continue
+		}
+		s.Add("while one was silent", 1)
+		if d.Server == server {
+			s.Add("to the silent one", 1)
+		}
+	}
+}
+
 func (s *udpScene) mark(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -227,6 +266,7 @@
 	s.Add("arrived", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heard(d)
 	if was := s.at[d.Flow]; was != "" && was != d.Server {
 		s.Add("moved in mid-flow", 1)
 		if ill := s.ill[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
@@ -273,10 +313,18 @@
 	if s.Get("share arrived") < 0.9 {
 		s.Broken("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", s.Get("share arrived")))
 	}
+	if all := s.Get("while one was silent"); all > 0 {
+		share := s.Get("to the silent one") / all * float64(s.Servers) // 1 is what it would get if it were like the others
+		s.Set("silent server's part of its share", share)
+		if share > 0.5 {
+			s.Broken("silence", fmt.Sprintf("a server that answered nothing got %.2f of its share", share))
+		}
+	}
 	s.Least("drains", 1)
 	s.Least("node: expired", 1)
 	if s.Flows >= 100_000 {
 		s.Least("servers killed", 1)
+		s.Least("while one was silent", 1)
 	}
 	return nil
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -50,6 +51,10 @@
 	Late        float64          // of them that it answers once more, seconds later
 }
 
+// Hang has the server take datagrams and answer none, while its probes go on as if nothing
+// were wrong; or ends that.
+func (s *Server) Hang(on bool) { s.hung.Store(on) }
+
 // Server is a feed server. While it runs it listens at one address for each node.
 type Server struct {
 	ServerOptions
@@ -61,6 +66,7 @@
 	draining bool
 	cancel   context.CancelFunc
 	addrs    map[string]string
+	hung     atomic.Bool
 	epoch    uint64
 	base     map[string]uint64 // of its own numbering, by group; nil for the feed's
 	starts   int
@@ -77,6 +83,20 @@
 	return &Server{ServerOptions: o, addrs: map[string]string{}, epoch: feedEpoch, conns: map[*stream]struct{}{}}
 }
 
+// listen opens an address, or a new one below the ports that the machine gives to whoever
+// connects: the address has to be free again when the server comes back to it.
+func listen(at string) (l net.Listener, err error) {
+	if at != "" {
+		return net.Listen("tcp", at)
+	}
+	for range 100 {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(20_000))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // Start runs the server, at the addresses it had before if it had some. From its
 // second start on it numbers by itself, as one whose numbering was lost.
 func (s *Server) Start(nodes []string) (addrs map[string]string, err error) {
@@ -84,11 +104,7 @@
 	defer s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, node := range nodes {
-		at := s.addrs[node]
-		if at == "" {
-			at = "127.0.0.1:0"
-		}
-		l, err := net.Listen("tcp", at)
+		l, err := listen(s.addrs[node])
 		if err != nil {
 			cancel()
 			return nil, fmt.Errorf("server %s: %w", s.Name, err)
--- a/internal/standin/udp.go
+++ b/internal/standin/udp.go
@@ -77,6 +77,9 @@
 			seq, _, _ := strings.Cut(rest, " ")
 			s.flows.heard(flow, now)
 			s.Datagrams(Datagram{s.Name, node, flow, seq, now})
+			if s.hung.Load() {
+				continue
+			}
 			_, _ = conn.WriteToUDPAddrPort(b[:n], from) // with its header, if it has one
 			if s.Late > 0 && rand.Float64() < s.Late {
 				again := bytes.Clone(b[:n])
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -24,6 +24,7 @@
 	server  string
 	conn    *net.UDPConn
 	packets *ipv4.PacketConn
+	hop     *health
 	flows   int // that have it
 
 	// Of shared ones:
@@ -42,6 +43,7 @@
 func (f *Front) outlet(server string) (out *outlet, made bool, err error) {
 	if out := f.outlets[server]; out != nil { // only shared ones are there
 		out.flows++
+		out.hop.flows++
 		return out, false, nil
 	}
 	if f.sockets >= f.o.Sockets {
@@ -56,7 +58,8 @@
 		return nil, false, err
 	}
 	f.sockets++
-	out = &outlet{server: server, conn: conn, flows: 1}
+	out = &outlet{server: server, conn: conn, flows: 1, hop: f.healthOf(server, addr)}
+	out.hop.flows++
 	if f.o.Shared {
 		_ = conn.SetWriteBuffer(4 << 20) // as much of it as the machine allows
 		_ = conn.SetReadBuffer(4 << 20)
@@ -68,6 +71,7 @@
 
 // letGo ends one flow's use of a socket.
 func (f *Front) letGo(out *outlet) {
+	out.hop.flows--
 	if out.flows--; out.flows > 0 {
 		return
 	}
@@ -96,6 +100,7 @@
 // told meanwhile is seen by the next look at MaySend, before the next write. Over a
 // shared socket it goes with the batch, which is flushed under the same lock.
 func (f *Front) send(p *place, x *item, d []byte) {
+	x.out.hop.evidence.Sent(f.clock)
 	if !f.o.Shared {
 		if f.o.Proxy {
 			d = append(appendProxy(make([]byte, 0, longestProxy+len(d)), p.client, f.addr, flow.Ref{}), d...)
@@ -183,11 +188,18 @@
 
 // refused lets all flows of a next hop go whose port nobody has.
 func (f *Front) refused(out *outlet) {
+	f.lose(out.hop)
+}
+
+// lose lets all flows of a next hop go, and returns how many there were.
+func (f *Front) lose(h *health) (n int) {
 	for i := range f.flows {
-		if x := f.flows[i].item; x != nil && x.out == out {
+		if x := f.flows[i].item; x != nil && x.out != nil && x.out.hop == h {
 			f.replace(x, balance.Reset)
+			n++
 		}
 	}
+	return n
 }
 
 // sharedReplies passes on what a next hop answers over a shared socket, each to the client
@@ -245,6 +257,7 @@
 // or the same address, by now.
 func (f *Front) whose(out *outlet, d []byte, at time.Duration) (client netip.AddrPort, text []byte, ok bool) {
 	if !f.o.Proxy {
+		out.hop.evidence.Heard()
 		return client, nil, false
 	}
 	client, _, r, text, err := cutProxy(d)
@@ -259,6 +272,7 @@
 	if p := &f.flows[r.Index]; p.item == nil || p.item.out != out {
 		return client, nil, false
 	}
+	out.hop.evidence.Heard() // not by what is stray: that may have been on its way for long
 	f.table.Touch(r, at)
 	return f.flows[r.Index].client, text, true
 }
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -55,6 +55,7 @@
 	// MaySend is false once the drain grace is over, with some of it kept back.
 	MaySend(server string, now time.Time) bool
 	Leaving(server string, now time.Time) bool // it drains, or is gone
+	Answers(server string) bool                // its last probe, if there was one
 }
 
 // Options size the front.
@@ -71,6 +72,8 @@
 	Sockets  int         // to next hops: one for each flow, or for each next hop
 	Shared   bool        // flows share a next hop's socket, which replies by Proxy alone
 	Proxy    bool        // a PROXY v2 header before each datagram to next hops
+	Silence  flow.SilenceOptions
+	Echo     string // a datagram that next hops answer, to ask for their health; empty for their probes
 }
 
 // Counts say what became of datagrams: In = Forwarded + the drops + what waits.
@@ -78,6 +81,7 @@
 	In, Forwarded, Replies, Stray               atomic.Int64
 	Full, Limited, Queue, Refused, Unsent, Gone atomic.Int64
 	Opened, Expired, Evicted, Replaced          atomic.Int64
+	Silent                                      atomic.Int64 // of those replaced: their next hop had fallen silent
 }
 
 // Dropped is the sum of all drops.
@@ -97,23 +101,26 @@
 	Counts  Counts
 	failed  tally.Tally
 
-	mu      sync.Mutex
-	table   *flow.Table
-	sources *flow.Sources
-	room    flow.Room
-	fresh   flow.Pace          // new flows in line
-	again   flow.Pace          // those that were placed before, which go first
-	flows   []place            // beside the table's entries
-	placed  int                // flows that have a socket
-	sockets int                // that they have
-	ports   ports              // that those come from
-	outlets map[string]*outlet // the shared ones, by next hop
-	due     []*outlet          // have something to write
-	named   uint64
-	wg      sync.WaitGroup
-	closed  bool
-	outbox  []func() // what the Core is to be told, in order
-	news    chan struct{}
+	mu       sync.Mutex
+	table    *flow.Table
+	sources  *flow.Sources
+	room     flow.Room
+	fresh    flow.Pace          // new flows in line
+	again    flow.Pace          // those that were placed before, which go first
+	flows    []place            // beside the table's entries
+	placed   int                // flows that have a socket
+	sockets  int                // that they have
+	ports    ports              // that those come from
+	outlets  map[string]*outlet // the shared ones, by next hop
+	due      []*outlet          // have something to write
+	named    uint64
+	health   map[string]*health // of next hops that have or had flows
+	listenAt time.Time
+	clock    time.Duration // when the batch came that is under way
+	wg       sync.WaitGroup
+	closed   bool
+	outbox   []func() // what the Core is to be told, in order
+	news     chan struct{}
 }
 
 // place is what the front keeps of a flow.
@@ -150,7 +157,7 @@
 	_ = conn.SetReadBuffer(4 << 20) // as much of it as the machine allows
 	return &Front{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn), start: time.Now(),
 		table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
-		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, ports: newPorts(), news: make(chan struct{}, 1)}, nil
+		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, ports: newPorts(), news: make(chan struct{}, 1)}, nil
 }
 
 // Addr is where it listens.
@@ -182,13 +189,16 @@
 			f.end(x, balance.Cancelled)
 		}
 	}
+	for _, h := range f.health {
+		h.close()
+	}
 	f.mu.Unlock()
 	f.wg.Wait()
 	c := &f.Counts
 	slog.Info("udp ended", "in", c.In.Load(), "forwarded", c.Forwarded.Load(), "replies", c.Replies.Load(), "stray", c.Stray.Load(),
 		"full", c.Full.Load(), "limited", c.Limited.Load(), "queue", c.Queue.Load(), "refused", c.Refused.Load(),
 		"unsent", c.Unsent.Load(), "gone", c.Gone.Load(), "waiting", f.o.Room.Count-f.room.Count,
-		"opened", c.Opened.Load(), "expired", c.Expired.Load(), "evicted", c.Evicted.Load(), "replaced", c.Replaced.Load())
+		"opened", c.Opened.Load(), "expired", c.Expired.Load(), "evicted", c.Evicted.Load(), "replaced", c.Replaced.Load(), "silent", c.Silent.Load())
 	return err
 }
 
@@ -240,6 +250,7 @@
 		}
 		now := time.Now()
 		f.mu.Lock()
+		f.clock = now.Sub(f.start)
 		for i := range messages[:n] {
 			m := &messages[i]
 			if from, ok := m.Addr.(*net.UDPAddr); ok {
@@ -376,6 +387,7 @@
 			})
 		}
 		f.placeInLine(now)
+		f.listen(now)
 		f.mu.Unlock()
 	}
 }
@@ -401,18 +413,25 @@
 			f.replace(x, balance.Cancelled)
 		}
 	}
+	for server, h := range f.health {
+		if h.flows == 0 && f.hops.Address(server) == "" {
+			h.close()
+			delete(f.health, server)
+		}
+	}
 }
 
 // ---- a placement, as the Core sees it ----
 
 // Start gives a flow its socket. Nothing is sent to find out whether the next hop is
-// there: a flow counts as up when it has one, and a refusal ends it later.
+// there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
+// silence ends it later.
 func (f *Front) Start(i decide.Item, attempt int, server string, _ time.Time) {
 	x := i.(*item)
 	f.wg.Go(func() {
 		begun := time.Now()
 		if f.up(x, server, begun) {
-			f.core.BranchUp(x, attempt, server, time.Since(begun))
+			f.core.BranchUp(x, attempt, server, 0) // nobody was asked
 		} else {
 			f.core.BranchEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.NoLoad)
 		}
@@ -432,6 +451,7 @@
 	}
 	x.out, x.server = out, server
 	f.placed++
+	f.clock = now.Sub(f.start)
 	p := &f.flows[x.ref.Index]
 	p.waiting.Drain(&f.room, func(d []byte) {
 		if x.out != nil {
@@ -477,6 +497,9 @@
 		}
 		f.mu.Lock()
 		stands := !x.over && f.table.Valid(x.ref)
+		if x.out != nil {
+			x.out.hop.evidence.Heard()
+		}
 		if stands {
 			f.table.Touch(x.ref, f.now())
 		}
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -26,12 +26,14 @@
 	asked  []decide.Item
 	ended  []balance.Outcome
 	placed map[decide.Item]string
+	again  string // where a branch that has failed goes on; empty for nowhere
+	front  decide.Branches
 }
 
 func (c *chooser) Submit(x decide.Item, b decide.Branches) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.asked = append(c.asked, x)
+	c.asked, c.front = append(c.asked, x), b
 	switch {
 	case c.refuse:
 		x.Refuse(0)
@@ -50,8 +52,15 @@
 	defer c.mu.Unlock()
 	c.placed[x] = server
 }
-func (c *chooser) BranchEnded(x decide.Item, _ int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
-	x.Fail()
+func (c *chooser) BranchEnded(x decide.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
+	c.mu.Lock()
+	again := c.again
+	c.mu.Unlock()
+	if again == "" {
+		x.Fail()
+	} else {
+		c.front.Start(x, attempt+1, again, x.Asked().Deadline)
+	}
 }
 func (c *chooser) set(server string) {
 	c.mu.Lock()
@@ -64,6 +73,8 @@
 	mu      sync.Mutex
 	addr    map[string]string
 	leaving map[string]bool
+	mute    map[string]bool // answers no probes
+	hung    map[string]bool // answers nothing else
 	got     map[string][]string
 	conns   map[string]*net.UDPConn
 }
@@ -74,6 +85,7 @@
 	defer h.mu.Unlock()
 	return !h.leaving[s]
 }
+func (h *hops) Answers(s string) bool                { h.mu.Lock(); defer h.mu.Unlock(); return !h.mute[s] }
 func (h *hops) Leaving(s string, now time.Time) bool { return !h.MaySend(s, now) }
 func (h *hops) count(s string) int                   { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
 
@@ -99,7 +111,11 @@
 				head, text = bytes.Clone(text[:n-len(rest)]), rest
 			}
 			h.got[name] = append(h.got[name], string(text[:min(len(text), 20)]))
+			hung := h.hung[name]
 			h.mu.Unlock()
+			if hung {
+				continue
+			}
 			answer := append(append(head, name+":"...), text...)
 			_, _ = conn.WriteToUDPAddrPort(answer[:min(len(answer), largest)], from)
 		}
@@ -115,7 +131,7 @@
 		change(&o)
 	}
 	c := &chooser{server: "a", placed: map[decide.Item]string{}}
-	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
+	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, mute: map[string]bool{}, hung: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
 	h.add(t, "a")
 	h.add(t, "b")
 	f, err := New(o, c, h)
@@ -322,6 +338,54 @@
 	}
 }
 
+// A drain is told while the first datagrams of thousands of flows wait for a decision, half
+// of which has been made: nothing reaches who drains, and nothing is lost. A client whose
+// port is another from then on is another flow.
+func TestDrainWhileMostWait(t *testing.T) {
+	const flows = 2000
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			f, c, h := front(t, both(mode, func(o *Options) {
+				o.Table.Entries, o.Sockets, o.Room.Count, o.New.Burst = 2*flows, 2*flows, 2*flows, 2*flows
+				o.Deadline = time.Minute
+			}))
+			c.set("")
+			clients := make([]client, flows)
+			for i := range clients {
+				clients[i] = dial(t, f)
+				clients[i].send(fmt.Sprint(i))
+				if i%100 == 99 { // sockets' buffers hold some 200
+					eventually(t, "they wait", func() bool { return f.Counts.In.Load() == int64(i+1) })
+				}
+			}
+			eventually(t, "all are asked for", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.asked) == flows })
+			c.mu.Lock()
+			asked := c.asked
+			c.server, c.again = "b", "b"
+			c.mu.Unlock()
+			h.mu.Lock()
+			h.leaving["a"] = true
+			h.mu.Unlock()
+			f.Look()
+			for i, x := range asked {
+				f.Start(x, 0, []string{"a", "b"}[i%2], x.Asked().Deadline)
+				if i%100 == 99 {
+					eventually(t, "they arrive", func() bool { return h.count("b") == i+1 })
+				}
+			}
+			for i, x := range clients {
+				x.expect(fmt.Sprint("b:", i))
+			}
+			rebound := dial(t, f)
+			rebound.send("1")
+			rebound.expect("b:1")
+			if n := h.count("a"); n != 0 || f.Counts.Opened.Load() != flows+1 || f.Counts.Dropped() != 0 {
+				t.Errorf("%d reached who drains, %d flows, %d dropped", n, f.Counts.Opened.Load(), f.Counts.Dropped())
+			}
+		})
+	}
+}
+
 // Flows that are silent are forgotten with their sockets; what a next hop still
 // answers reaches nobody.
 func TestExpiry(t *testing.T) {
@@ -361,6 +425,50 @@
 	eventually(t, "the source is limited", func() bool { return f.Counts.Limited.Load() > 0 })
 }
 
+// A next hop that falls silent loses its flows to another: one that used to answer, though
+// its probes are fine; one whose probes fail, though it never answered; one that does not
+// answer echoes.
+func TestSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		echo         string
+		hang, probes bool
+	}{"stops answering": {"", true, false}, "probes fail": {"", false, true}, "echoes fail": {"are you there", true, false}} {
+		for way, mode := range modes {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				f, core, h := front(t, both(mode, func(o *Options) {
+					o.Silence = flow.SilenceOptions{After: 300 * time.Millisecond, Datagrams: 5}
+					if o.Echo = c.echo; c.echo != "" {
+						o.Silence.Datagrams = 0
+					}
+				}))
+				x := dial(t, f)
+				for range 40 {
+					x.send("1")
+					x.expect("a:1")
+				}
+				core.set("b")
+				h.mu.Lock()
+				h.hung["a"], h.mute["a"] = c.hang, c.probes
+				h.mu.Unlock()
+				for begun := time.Now(); h.count("b") == 0; {
+					x.send("2")
+					_ = x.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+					_, _ = x.Read(make([]byte, 100))
+					if time.Since(begun) > patience {
+						t.Fatal("it never left")
+					}
+				}
+				core.mu.Lock()
+				defer core.mu.Unlock()
+				if len(core.ended) != 1 || core.ended[0] != balance.Reset || f.Counts.Silent.Load() != 1 {
+					t.Errorf("told %v, %d flows lost to silence", core.ended, f.Counts.Silent.Load())
+				}
+			})
+		}
+	}
+}
+
 // Over shared sockets an answer reaches a client only while its flow stands at the next
 // hop that gives it, and without a header nobody.
 func TestStaleReplies(t *testing.T) {
