Several fronts at one address for datagrams, one for each core of the node

Need: with more than one core a single lock bounded what was forwarded. With one core, as on the platform, there is one front as before.

Each has its part of all bounds and of the ports. An address that is taken is still told: it is opened alone first.

--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -131,7 +131,7 @@
 type fleet struct {
 	hops  *nexthop.Hops
 	core  *decide.Core
-	udp   *udp.Front    // nil where it is off
+	udp   udp.Fronts    // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
 	once  sync.Once
 }
--- a/cmd/coralrelay/udp.go
+++ b/cmd/coralrelay/udp.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"runtime"
 	"sync"
 
 	"coralrelay/internal/config"
@@ -15,7 +16,7 @@
 
 // startUDP starts the front for datagrams, if the operator's file names an address
 // for it; else it returns nil.
-func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operator.UDP, core udp.Decider, hops udp.Hops) (*udp.Front, error) {
+func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operator.UDP, core udp.Decider, hops udp.Hops) (udp.Fronts, error) {
 	if o.Listen == "" {
 		return nil, nil
 	}
@@ -33,7 +34,7 @@
 		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", o.Class)
 	}
 	policy := map[string]flow.Policy{"reserve": flow.Reserve, "refuse": flow.RefuseNew, "idle": flow.EvictIdle}[o.Policy]
-	f, err := udp.New(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: o.Sockets, Shared: o.Mode == "shared", Proxy: o.Proxy,
+	all, err := udp.Open(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: o.Sockets, Shared: o.Mode == "shared", Proxy: o.Proxy,
 		Table: flow.Options{Entries: o.Flows, Idle: o.Idle.Duration, Policy: policy, Share: o.Reserve,
 			Settled: o.Settled, After: o.After.Duration},
 		Sources: flow.SourceOptions{Slots: o.Sources.Slots, Rate: o.Sources.Rate, Burst: o.Sources.Burst},
@@ -41,15 +42,11 @@
 		Room:    flow.Room{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
 		New:     flow.Pace{Rate: o.New.Rate, Burst: o.New.Burst, Newest: true},
 		Silence: flow.SilenceOptions{After: o.Silence.After.Duration, Datagrams: o.Silence.Datagrams}, Echo: o.Silence.Echo,
-		Again: flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, core, hops)
+		Again: flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, runtime.GOMAXPROCS(0), core, hops)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
-	parts.Go(func() {
-		if err := f.Serve(ctx); err != nil {
-			slog.Error("udp", "err", err)
-		}
-	})
-	slog.Info("udp on", "listen", f.Addr(), "flows", o.Flows, "sockets", o.Sockets)
-	return f, nil
+	parts.Go(func() { all.Serve(ctx) })
+	slog.Info("udp on", "listen", all.Addr(), "fronts", len(all), "flows", o.Flows, "sockets", o.Sockets)
+	return all, nil
 }
--- a/internal/rig/node.go
+++ b/internal/rig/node.go
@@ -31,6 +31,7 @@
 	Number, Nodes                int
 	Sabotage                     string
 	Own                          *operator.File // nil for none
+	Cores                        int            // 0 for 1
 	Sockets                      int            // that it may use; 0 for 4096
 }
 
@@ -66,8 +67,8 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	platform := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":192,"sockets":%d},"settings":%s}`,
-		o.Name, addr, o.Discovery, 0x8c1f30d27a5be964+uint64(o.Number), cmp.Or(o.Sockets, 4096),
+	platform := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":%d,"memory_mb":192,"sockets":%d},"settings":%s}`,
+		o.Name, addr, o.Discovery, 0x8c1f30d27a5be964+uint64(o.Number), max(o.Cores, 1), cmp.Or(o.Sockets, 4096),
 		fmt.Sprintf(settings, o.Nodes, o.Number))
 	if err := os.WriteFile(filepath.Join(o.Dir, "config.json"), []byte(platform), 0o600); err != nil {
 		return nil, err
--- a/internal/rig/speed.go
+++ b/internal/rig/speed.go
@@ -201,11 +201,13 @@
 
 // UDPSpeed measures what forwarding costs: a bare loop of reads and writes, and the node
 // with a socket for each next hop and for each flow, in turn and several times, as the
-// machine's own pace changes. Each has one processor, and all others are the rig's.
+// machine's own pace changes. The loop has one
+// processor, the node as many as it is given, and all others are the rig's.
 func UDPSpeed(ctx context.Context, o UDPOptions) (*Result, error) {
 	r := NewResult("udp speed", o.Seed)
 	r.Scaled = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
-	apart, restore := pinned()
+	o.Cores = max(o.Cores, 1)
+	apart, restore := pinned(o.Cores)
 	defer restore()
 	if !apart {
 		r.Scaled += "; too few processors to keep one for the forwarder"
@@ -244,16 +246,17 @@
 	return r, nil
 }
 
-// pinned keeps this process off the first two processors, which may be one core's, if
-// there are enough. restore undoes it.
-func pinned() (ok bool, restore func()) {
+// pinned keeps this process off the first processors, two for each core of the node's, as
+// two may be one core's, if there are enough. restore undoes it.
+func pinned(cores int) (ok bool, restore func()) {
 	var all, rest unix.CPUSet
-	if unix.SchedGetaffinity(0, &all) != nil || all.Count() < 4 {
+	if unix.SchedGetaffinity(0, &all) != nil || all.Count() < 2*cores+2 {
 		return false, func() {}
 	}
 	rest = all
-	rest.Clear(0)
-	rest.Clear(1)
+	for i := range 2 * cores {
+		rest.Clear(i)
+	}
 	everywhere := func(set *unix.CPUSet) {
 		tasks, _ := os.ReadDir("/proc/self/task")
 		for _, t := range tasks {
@@ -266,8 +269,8 @@
 	return all.IsSet(0), func() { everywhere(&all) }
 }
 
-// alone runs what starts a process, so that it has the first processor.
-func alone(apart bool, start func() error) error {
+// alone runs what starts a process, so that it has the first processors, one of each two.
+func alone(apart bool, cores int, start func() error) error {
 	if !apart {
 		return start()
 	}
@@ -277,7 +280,9 @@
 	if err := unix.SchedGetaffinity(0, &was); err != nil {
 		return err
 	}
-	one.Set(0)
+	for i := range cores {
+		one.Set(2 * i)
+	}
 	if err := unix.SchedSetaffinity(0, &one); err != nil {
 		return err
 	}
@@ -312,7 +317,7 @@
 			return 0, nil, err
 		}
 		cmd := exec.CommandContext(ctx, self, "bare", listen, addrs["n0"])
-		if err := alone(apart, cmd.Start); err != nil {
+		if err := alone(apart, 1, cmd.Start); err != nil {
 			return 0, nil, err
 		}
 		defer func() { cancel(); _ = cmd.Wait() }()
@@ -323,16 +328,16 @@
 		}
 		own := operator.Default()
 		own.UDP.Listen, own.UDP.Mode, own.UDP.Proxy = listen, w.mode, w.proxy
-		node, err := NewNode(NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own})
+		node, err := NewNode(NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own, Cores: o.Cores})
 		if err != nil {
 			return 0, nil, err
 		}
-		if err := alone(apart, func() error { return node.Start(ctx) }); err != nil {
+		if err := alone(apart, o.Cores, func() error { return node.Start(ctx) }); err != nil {
 			return 0, nil, err
 		}
 		defer node.Kill()
 	}
-	speakers, err := newSpeakers(ctx, listen, 2)
+	speakers, err := newSpeakers(ctx, listen, 2*o.Cores)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/rig/udp.go
+++ b/internal/rig/udp.go
@@ -23,6 +23,7 @@
 	Seed                  uint64
 	Flows, Table, Servers int
 	Flood                 bool // steady flows beside floods, in place of short ones
+	Cores                 int  // that the node has
 	Shared                bool // the node's flows share a socket to each next hop
 	Binary, Sabotage      string
 	Progress              io.Writer
@@ -95,7 +96,7 @@
 	own.UDP.Silence.After.Duration = 500 * time.Millisecond
 	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
 	s.node, err = NewNode(NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
-		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Sockets: o.Table + 2000})
+		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Cores: o.Cores, Sockets: o.Table + 2000})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/udp/fronts.go
@@ -0,0 +1,137 @@
+package udp
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"coralrelay/internal/flow"
+)
+
+// Fronts are several at one address, where there are cores for them: the kernel deals
+// flows among their sockets, always a flow to the same. They share nothing but the Core,
+// so no lock is between two cores; each has its part of all bounds.
+type Fronts []*Front
+
+// Open listens with n fronts, which together keep to the options.
+func Open(o Options, n int, core Decider, hops Hops) (Fronts, error) {
+	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
+		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
+	}
+	conns, err := listen(o.Listen, n)
+	if err != nil {
+		return nil, fmt.Errorf("udp: %w", err)
+	}
+	var all Fronts
+	for i, conn := range conns {
+		f := newFront(o.part(n), conn, core, hops)
+		if n > 1 {
+			f.name = fmt.Sprintf("u%d.", i)
+		}
+		f.ports = newPorts(i, n)
+		all = append(all, f)
+	}
+	return all, nil
+}
+
+// part is one front's part of n. Those that come from one source are dealt like all others.
+func (o Options) part(n int) Options {
+	share := func(x int) int { return max(1, (x+n-1)/n) }
+	o.Table.Entries, o.Sockets = share(o.Table.Entries), max(1, o.Sockets/n)
+	o.Room.Count, o.Room.Bytes = share(o.Room.Count), share(o.Room.Bytes)
+	o.Sources.Rate, o.Sources.Burst = o.Sources.Rate/float64(n), max(1, o.Sources.Burst/float64(n))
+	for _, p := range []*flow.Pace{&o.New, &o.Again} {
+		p.Rate, p.Burst = p.Rate/float64(n), max(1, p.Burst/float64(n))
+	}
+	return o
+}
+
+// listen opens so many sockets at one address.
+func listen(at netip.AddrPort, n int) (conns []*net.UDPConn, err error) {
+	// One that shares with nobody at first: those that do share with any other process of
+	// this user's that does, and nobody would be told that the address is taken.
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, err
+	}
+	conns = append(conns, conn)
+	if n > 1 {
+		at = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		_ = conn.Close()
+		conns = nil
+	}
+	shares := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if inner := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		}); inner != nil {
+			return inner
+		}
+		return err
+	}}
+	for len(conns) < n {
+		conn, err := shares.ListenPacket(context.Background(), "udp", at.String())
+		if err != nil {
+			for _, c := range conns {
+				_ = c.Close()
+			}
+			return nil, err
+		}
+		conns = append(conns, conn.(*net.UDPConn))
+	}
+	for _, c := range conns {
+		_ = c.SetReadBuffer(4 << 20) // as much of it as the machine allows
+	}
+	return conns, nil
+}
+
+// Addr is where they listen.
+func (all Fronts) Addr() netip.AddrPort { return all[0].addr }
+
+// Look is Front.Look for each.
+func (all Fronts) Look() {
+	for _, f := range all {
+		f.Look()
+	}
+}
+
+// Serve serves all until ctx ends, and then logs what became of their datagrams.
+func (all Fronts) Serve(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range all {
+		wg.Go(func() { f.Serve(ctx) })
+	}
+	wg.Wait()
+	var sum Counts
+	waiting := 0
+	for _, f := range all {
+		waiting += f.o.Room.Count - f.room.Count
+		into := sum.all()
+		for i, c := range f.Counts.all() {
+			into[i].n.Add(c.n.Load())
+		}
+	}
+	values := []any{"waiting", waiting}
+	for _, c := range sum.all() {
+		values = append(values, c.name, c.n.Load())
+	}
+	slog.Info("udp ended", values...)
+}
+
+type count struct {
+	name string
+	n    *atomic.Int64
+}
+
+// all names the counts.
+func (c *Counts) all() []count {
+	return []count{{"in", &c.In}, {"forwarded", &c.Forwarded}, {"replies", &c.Replies}, {"stray", &c.Stray}, {"full", &c.Full},
+		{"limited", &c.Limited}, {"queue", &c.Queue}, {"refused", &c.Refused}, {"unsent", &c.Unsent}, {"gone", &c.Gone},
+		{"opened", &c.Opened}, {"expired", &c.Expired}, {"evicted", &c.Evicted}, {"replaced", &c.Replaced}, {"silent", &c.Silent}}
+}
--- a/internal/udp/ports.go
+++ b/internal/udp/ports.go
@@ -16,8 +16,8 @@
 // answer that was still on its way to that.
 type ports struct{ first, count, next int }
 
-// newPorts takes the machine's range for such ports.
-func newPorts() ports {
+// newPorts takes one of n parts of the machine's range for such ports.
+func newPorts(part, n int) ports {
 	p := ports{first: 32768, count: 28232}
 	var first, last int
 	if raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
@@ -25,6 +25,7 @@
 			p.first, p.count = first, last-first+1
 		}
 	}
+	p.first, p.count = p.first+p.count*part/n, max(1, p.count/n)
 	p.next = rand.IntN(p.count)
 	return p
 }
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -7,9 +7,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"hash/maphash"
-	"log/slog"
 	"net"
 	"net/netip"
 	"strconv"
@@ -69,7 +67,7 @@
 	Room     flow.Room   // for all that wait
 	New      flow.Pace   // for flows that are new: what a flood may cost the module
 	Again    flow.Pace   // for flows that have lost their next hop
-	Sockets  int         // to next hops: one for each flow, or for each next hop
+	Sockets  int         // to next hops: one for each flow, or for each next hop and front
 	Shared   bool        // flows share a next hop's socket, which replies by Proxy alone
 	Proxy    bool        // a PROXY v2 header before each datagram to next hops
 	Silence  flow.SilenceOptions
@@ -89,7 +87,7 @@
 	return c.Full.Load() + c.Limited.Load() + c.Queue.Load() + c.Refused.Load() + c.Unsent.Load() + c.Gone.Load()
 }
 
-// Front serves one listener.
+// Front serves one socket.
 type Front struct {
 	o       Options
 	core    Decider
@@ -113,6 +111,7 @@
 	ports    ports              // that those come from
 	outlets  map[string]*outlet // the shared ones, by next hop
 	due      []*outlet          // have something to write
+	name     string             // that its placements have in common
 	named    uint64
 	health   map[string]*health // of next hops that have or had flows
 	listenAt time.Time
@@ -142,22 +141,15 @@
 	over   bool
 }
 
-// New listens. Serve has to be called for anything to happen.
-func New(o Options, core Decider, hops Hops) (*Front, error) {
-	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
-		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
-	}
+// newFront returns one that takes what comes by conn. Serve has to be called for anything
+// to happen.
+func newFront(o Options, conn *net.UDPConn, core Decider, hops Hops) *Front {
 	if o.Table.Seed == (maphash.Seed{}) {
 		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Listen))
-	if err != nil {
-		return nil, fmt.Errorf("udp: %w", err)
-	}
-	_ = conn.SetReadBuffer(4 << 20) // as much of it as the machine allows
-	return &Front{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn), start: time.Now(),
-		table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
-		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, ports: newPorts(), news: make(chan struct{}, 1)}, nil
+	return &Front{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
+		start: time.Now(), name: "u", table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
+		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, news: make(chan struct{}, 1)}
 }
 
 // Addr is where it listens.
@@ -172,7 +164,7 @@
 }
 
 // Serve forwards until ctx ends; then it lets all flows go and closes its sockets.
-func (f *Front) Serve(ctx context.Context) error {
+func (f *Front) Serve(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = f.conn.Close() })
 	defer stop()
 	over := make(chan struct{})
@@ -181,7 +173,7 @@
 	defer teller.Wait()
 	defer close(over)
 	f.wg.Go(func() { f.keep(ctx) })
-	err := f.read(ctx)
+	f.read(ctx)
 	f.mu.Lock()
 	f.closed = true
 	for i := range f.flows {
@@ -194,12 +186,6 @@
 	}
 	f.mu.Unlock()
 	f.wg.Wait()
-	c := &f.Counts
-	slog.Info("udp ended", "in", c.In.Load(), "forwarded", c.Forwarded.Load(), "replies", c.Replies.Load(), "stray", c.Stray.Load(),
-		"full", c.Full.Load(), "limited", c.Limited.Load(), "queue", c.Queue.Load(), "refused", c.Refused.Load(),
-		"unsent", c.Unsent.Load(), "gone", c.Gone.Load(), "waiting", f.o.Room.Count-f.room.Count,
-		"opened", c.Opened.Load(), "expired", c.Expired.Load(), "evicted", c.Evicted.Load(), "replaced", c.Replaced.Load(), "silent", c.Silent.Load())
-	return err
 }
 
 // say has the Core told, under the lock and without waiting: the Core may itself be
@@ -233,7 +219,7 @@
 func (f *Front) now() time.Duration { return time.Since(f.start) }
 
 // read takes datagrams in batches.
-func (f *Front) read(ctx context.Context) error {
+func (f *Front) read(ctx context.Context) {
 	messages := make([]ipv4.Message, batch)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, largest)}
@@ -242,7 +228,7 @@
 		n, err := f.packets.ReadBatch(messages, 0)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+				return
 			}
 			f.failed.Warn("udp: read", "err", err)
 			time.Sleep(time.Millisecond)
@@ -309,7 +295,7 @@
 	p := &f.flows[r.Index]
 	f.named++
 	k := p.client.Addr().String()
-	x := &item{front: f, ref: r, Request: decide.Request{ID: "u" + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
+	x := &item{front: f, ref: r, Request: decide.Request{ID: f.name + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
 		Deadline: now.Add(f.o.Deadline)}}
 	p.item = x
 	f.say(func() { f.core.Submit(x, f) })
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -123,6 +123,12 @@
 }
 
 func front(t testing.TB, change func(*Options)) (*Front, *chooser, *hops) {
+	t.Helper()
+	all, c, h := fronts(t, 1, change)
+	return all[0], c, h
+}
+
+func fronts(t testing.TB, n int, change func(*Options)) (Fronts, *chooser, *hops) {
 	t.Helper()
 	o := Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Class: "feed", Deadline: time.Second, Sockets: 100,
 		Table: flow.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
@@ -134,23 +140,23 @@
 	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, mute: map[string]bool{}, hung: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
 	h.add(t, "a")
 	h.add(t, "b")
-	f, err := New(o, c, h)
+	all, err := Open(o, n, c, h)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- f.Serve(ctx) }()
+	done := make(chan struct{})
+	go func() { defer close(done); all.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-		if _, placed := f.Len(); placed != 0 {
-			t.Errorf("%d sockets are left", placed)
+		<-done
+		for _, f := range all {
+			if _, placed := f.Len(); placed != 0 {
+				t.Errorf("%d sockets are left", placed)
+			}
 		}
 	})
-	return f, c, h
+	return all, c, h
 }
 
 // modes are the ways to next hops; a shared socket's replies need the header.
@@ -173,7 +179,7 @@
 	*net.UDPConn
 }
 
-func dial(t *testing.T, f *Front) client {
+func dial(t *testing.T, f interface{ Addr() netip.AddrPort }) client {
 	t.Helper()
 	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(f.Addr()))
 	if err != nil {
@@ -583,8 +589,70 @@
 	}
 }
 
+// Several fronts at one address take each its flows, all of a flow, under names that no
+// other has; together they keep to the bounds; and nobody else can have the address.
+func TestSeveralFronts(t *testing.T) {
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			const flows = 60
+			all, c, h := fronts(t, 3, both(mode, func(o *Options) {
+				o.Table.Entries, o.Sockets, o.New.Burst, o.Table.Policy = 300, 300, 300, flow.RefuseNew
+			}))
+			for i := range flows {
+				x := dial(t, all)
+				for n := range 3 {
+					x.send(fmt.Sprintf("%d.%d", i, n))
+					x.expect(fmt.Sprintf("a:%d.%d", i, n))
+				}
+			}
+			busy, known, forwarded := 0, 0, int64(0)
+			for _, f := range all {
+				n, _ := f.Len()
+				known += n
+				if n > 0 {
+					busy++
+				}
+				forwarded += f.Counts.Forwarded.Load()
+			}
+			if busy < 2 || known != flows || forwarded != 3*flows || h.count("a") != 3*flows {
+				t.Errorf("%d fronts have flows, %d in all, %d forwarded", busy, known, forwarded)
+			}
+			ids := map[string]bool{}
+			c.mu.Lock()
+			for _, x := range c.asked {
+				ids[x.Asked().ID] = true
+			}
+			c.mu.Unlock()
+			if len(ids) != flows {
+				t.Errorf("%d names for %d flows", len(ids), flows)
+			}
+			for _, n := range []int{1, 2} {
+				if more, err := Open(Options{Listen: all.Addr()}, n, nil, nil); err == nil {
+					t.Errorf("%d more at the same address: %v", n, more.Addr())
+				}
+			}
+			h.mu.Lock()
+			h.leaving["a"] = true
+			h.mu.Unlock()
+			c.set("b")
+			all.Look()
+			if _, placed := all[0].Len(); placed != 0 {
+				t.Error("a front has not heard of a drain")
+			}
+		})
+	}
+	var tight Options
+	tight.Table.Entries, tight.Sockets, tight.Room, tight.New = 100, 8, flow.Room{Count: 4, Bytes: 10}, flow.Pace{Rate: 30, Burst: 2}
+	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.Room != (flow.Room{Count: 2, Bytes: 4}) || p.New.Rate != 10 || p.New.Burst != 1 {
+		t.Errorf("a third of the bounds: %+v", p)
+	}
+	if a, b := newPorts(0, 2), newPorts(1, 2); a.first+a.count != b.first {
+		t.Errorf("ports %+v and %+v", a, b)
+	}
+}
+
 func TestListensOnOneAddress(t *testing.T) {
-	if _, err := New(Options{Listen: netip.MustParseAddrPort("0.0.0.0:0")}, nil, nil); err == nil {
+	if _, err := Open(Options{Listen: netip.MustParseAddrPort("0.0.0.0:0")}, 1, nil, nil); err == nil {
 		t.Error("replies would come from anywhere")
 	}
 }
