Ten thousand steady flows beside a flood, and fronts that end in mid-flow

TestEndsInFlight: at the end in mid-flow each flow that stood is told and the counts add up. Its first form failed as its clients crowded each other out before they had places, not the front.

--- a/cmd/coralrig/main.go
+++ b/cmd/coralrig/main.go
@@ -86,6 +86,7 @@
 	Shared  bool `help:"The node's flows share a socket to each next hop."`
 	Cores   int  `default:"1" help:"Cores that the node has, and fronts for datagrams."`
 	Speed   bool `help:"Measure forwarding against a bare loop, in place of many short flows."`
+	Steady  int  `default:"2000" help:"Steady flows beside floods."`
 	Flood   bool `help:"Steady flows beside floods of new ones, in place of many short flows."`
 }
 
@@ -97,7 +98,7 @@
 	if c.Speed {
 		play = rig.UDPSpeed
 	}
-	r, err := play(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Shared: c.Shared, Cores: c.Cores, Binary: top.Node,
+	r, err := play(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Steady: max(c.Steady, 1), Shared: c.Shared, Cores: c.Cores, Binary: top.Node,
 		Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
--- a/internal/rig/flood.go
+++ b/internal/rig/flood.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// steady flows send on and on, each steadyEvery.
-	steady      = 2000
-	steadyEvery = 200 * time.Millisecond
+	// steadyEvery is how often each steady flow sends, twice as seldom if they are many: the
+	// scene's senders are on the node's machine.
+	steadyEvery, many = 200 * time.Millisecond, 5000
 	// phase is how long each part of the scene takes.
 	phase = 6 * time.Second
 	// flooders send as fast as they can.
@@ -24,7 +24,11 @@
 // flood has steady flows send: by themselves, beside a flood of flows of one datagram
 // from made-up sources, and beside one source that opens flow after flow.
 func (s *udpScene) flood(ctx context.Context, o operator.UDP) {
-	s.Scaled = fmt.Sprintf("%d steady flows in place of 10,000, %d flooding senders on the node's own machine", steady, flooders)
+	steady, every := s.Steady, steadyEvery
+	if steady > many {
+		every *= 2
+	}
+	s.Scaled = fmt.Sprintf("%d steady flows, %d flooding senders on the node's own machine", steady, flooders)
 	ctx, cancel := context.WithCancel(ctx)
 	var sent, came atomic.Int64
 	var wg sync.WaitGroup
@@ -32,10 +36,10 @@
 	defer cancel()
 	for i := range steady {
 		wg.Go(func() {
-			if !standin.Sleep(ctx, time.Duration(i)*arrivals/steady) {
+			if !standin.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(steady)) {
 				return
 			}
-			standin.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), steadyEvery, &sent, &came)
+			standin.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), every, &sent, &came)
 		})
 	}
 	share := func(part string) float64 {
--- a/internal/rig/udp.go
+++ b/internal/rig/udp.go
@@ -22,6 +22,7 @@
 type UDPOptions struct {
 	Seed                  uint64
 	Flows, Table, Servers int
+	Steady                int  // flows beside floods
 	Flood                 bool // steady flows beside floods, in place of short ones
 	Cores                 int  // that the node has
 	Shared                bool // the node's flows share a socket to each next hop
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -589,6 +589,51 @@
 	}
 }
 
+// At the end all flows are let go in the middle of what they send: the module hears of each
+// that stood, and every datagram that was read went on, was dropped or still waits.
+func TestEndsInFlight(t *testing.T) {
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			var all Fronts
+			var c *chooser
+			var senders sync.WaitGroup
+			stop := make(chan struct{})
+			t.Run("serves", func(inner *testing.T) { // the fronts end with it, the clients later
+				all, c, _ = fronts(inner, 2, both(mode, func(o *Options) { o.Table.Entries, o.Sockets, o.New.Burst = 200, 200, 200 }))
+				var clients []client
+				for range 50 {
+					x := dial(t, all)
+					x.send("0") // all have a place before they send as fast as they can
+					x.expect("a:0")
+					clients = append(clients, x)
+				}
+				for _, x := range clients {
+					senders.Go(func() {
+						for {
+							select {
+							case <-stop:
+								return
+							default:
+								_, _ = x.Write([]byte("1")) // refused once they have ended
+							}
+						}
+					})
+				}
+			})
+			close(stop)
+			senders.Wait()
+			in, out := int64(0), int64(0)
+			for _, f := range all {
+				in += f.Counts.In.Load()
+				out += f.Counts.Forwarded.Load() + f.Counts.Dropped() + int64(f.o.Room.Count-f.room.Count)
+			}
+			if in != out || len(c.ended) != len(c.placed) || len(c.placed) < 50 {
+				t.Errorf("%d in, %d out, dropped or waiting; %d ended of %d that stood", in, out, len(c.ended), len(c.placed))
+			}
+		})
+	}
+}
+
 // Several fronts at one address take each its flows, all of a flow, under names that no
 // other has; together they keep to the bounds; and nobody else can have the address.
 func TestSeveralFronts(t *testing.T) {
