--- a/internal/rig/speed.go
+++ b/internal/rig/speed.go
@@ -201,8 +201,8 @@
 
 // UDPSpeed measures what forwarding costs: a bare loop of reads and writes, and the node
 // with a socket for each next hop and for each flow, in turn and several times, as the
-// machine's own pace changes. The loop has one
-// processor, the node as many as it is given, and all others are the rig's.
+// machine's own pace changes. The loop has one processor, the node as many as it is given,
+// and all others are the rig's.
 func UDPSpeed(ctx context.Context, o UDPOptions) (*Result, error) {
 	r := NewResult("udp speed", o.Seed)
 	r.Scaled = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
@@ -276,14 +276,14 @@
 	}
 	runtime.LockOSThread() // a child has the processors of the thread that starts it
 	defer runtime.UnlockOSThread()
-	var was, one unix.CPUSet
+	var was, some unix.CPUSet
 	if err := unix.SchedGetaffinity(0, &was); err != nil {
 		return err
 	}
 	for i := range cores {
-		one.Set(2 * i)
+		some.Set(2 * i)
 	}
-	if err := unix.SchedSetaffinity(0, &one); err != nil {
+	if err := unix.SchedSetaffinity(0, &some); err != nil {
 		return err
 	}
 	defer func() { _ = unix.SchedSetaffinity(0, &was) }()
--- a/internal/rig/udp.go
+++ b/internal/rig/udp.go
@@ -196,21 +196,20 @@
 	for n := 0; standin.Sleep(ctx, 1500*time.Millisecond); n++ {
 		v := s.servers[rng.IntN(len(s.servers))]
 		s.mark(v.Name)
-		if n%4 == 1 {
+		switch n % 4 {
+		case 1:
 			s.hang(ctx, v)
-			continue
-		}
-		if n%4 != 2 {
+		case 2:
+			s.Add("servers killed", 1)
+			s.fall(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
+			s.mark(v.Name)
+		default:
 			s.Add("drains", 1)
 			s.roster.Set(v.Name, standin.Leaving, time.Time{}, nil)
 			standin.Sleep(ctx, 1200*time.Millisecond)
 			s.mark(v.Name)
 			s.roster.Set(v.Name, standin.Active, time.Time{}, nil)
-			continue
 		}
-		s.Add("servers killed", 1)
-		s.fall(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
-		s.mark(v.Name)
 	}
 }
 
--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -61,11 +61,11 @@
 	if err != nil {
 		return nil, err
 	}
-	conns = append(conns, conn)
-	if n > 1 {
+	if n == 1 {
+		conns = append(conns, conn)
+	} else {
 		at = conn.LocalAddr().(*net.UDPAddr).AddrPort()
 		_ = conn.Close()
-		conns = nil
 	}
 	shares := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		if inner := raw.Control(func(fd uintptr) {
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// listens is how often next hops are looked at, and asks how often one is sent an echo.
-	listens, asks = 250 * time.Millisecond, time.Second
+	// seeks is how often silent next hops are looked for, and asks how often one is sent an echo.
+	seeks, asks = 250 * time.Millisecond, time.Second
 )
 
 // health is what the front keeps of a next hop, under its lock.
@@ -73,13 +73,13 @@
 	}
 }
 
-// listen looks which next hops have fallen silent; their flows let them go, and come back
+// leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
 // elsewhere with their next datagrams, at the pace.
-func (f *Front) listen(now time.Time) {
-	if f.o.Silence.After <= 0 || now.Before(f.listenAt) {
+func (f *Front) leaveSilent(now time.Time) {
+	if f.o.Silence.After <= 0 || now.Before(f.soughtAt) {
 		return
 	}
-	f.listenAt = now.Add(listens)
+	f.soughtAt = now.Add(seeks)
 	at := now.Sub(f.start)
 	for _, h := range f.health {
 		if h.flows == 0 {
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -114,8 +114,8 @@
 	name     string             // that its placements have in common
 	named    uint64
 	health   map[string]*health // of next hops that have or had flows
-	listenAt time.Time
-	clock    time.Duration // when the batch came that is under way
+	soughtAt time.Time          // when silent ones are next looked for
+	clock    time.Duration      // when the batch came that is under way
 	wg       sync.WaitGroup
 	closed   bool
 	outbox   []func() // what the Core is to be told, in order
@@ -373,7 +373,7 @@
 			})
 		}
 		f.placeInLine(now)
-		f.listen(now)
+		f.leaveSilent(now)
 		f.mu.Unlock()
 	}
 }
@@ -483,10 +483,8 @@
 		}
 		f.mu.Lock()
 		stands := !x.over && f.table.Valid(x.ref)
-		if x.out != nil {
-			x.out.hop.evidence.Heard()
-		}
 		if stands {
+			x.out.hop.evidence.Heard()
 			f.table.Touch(x.ref, f.now())
 		}
 		f.mu.Unlock()
