--- /dev/null
+++ b/balance/cold_test.go
@@ -0,0 +1,162 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coralrelay/internal/rules"
+)
+
+// All instances together must keep to a cold server's budget, whether they are
+// five or 280; each knows only its own traffic.
+func TestColdBudget(t *testing.T) {
+	const servers, usual, span = 40, 40.0, 2 * time.Second // first arrivals a second, time watched
+	for _, instances := range []int{5, 280} {
+		set := settings()
+		set.Instances = instances
+		gap := time.Duration(float64(instances) / usual * float64(time.Second))
+		sent, rounds := 0, max(8, 400/instances)
+		for seed := range rounds * instances {
+			b, err := New(uint64(seed), set)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d := &bench{t: t, b: b, now: 100 * time.Second}
+			var list []ServerEntry
+			loads := map[string]float64{}
+			for i := range servers {
+				list = append(list, ServerEntry{ID: fmt.Sprint("s", i)})
+				loads[list[i].ID] = 0.6 // all but the cold one look usual
+			}
+			d.list(ListFull, list...)
+			began := d.now
+			// requests come at an even distance, the instances' in turn
+			at := began + gap*time.Duration(seed%instances)/time.Duration(instances)
+			cold := began + max(20*time.Second, 4*gap)
+			for i := 0; at < cold+span; i++ {
+				if d.now = at; at >= cold && loads["s0"] > 0 {
+					loads["s0"], list[0].Started = 0, cold
+					d.list(ListDelta, list[0])
+				}
+				if _, to := drawsUntilPlaced(d, fmt.Sprint("r", i), loads); to == "s0" && at >= cold {
+					sent++
+				}
+				at += gap
+			}
+		}
+		perSecond := float64(sent) / float64(rounds) / span.Seconds()
+		warmth := set.Rules.ColdShare // at the start; it only grows
+		budget := set.Rules.FallMultiple * warmth * usual / servers / 0.6
+		if perSecond > budget || sent == 0 {
+			t.Errorf("%d instances sent %.2f a second to a cold server, its budget is %.2f", instances, perSecond, budget)
+		}
+	}
+}
+
+func TestMostlyColdFleetStillServes(t *testing.T) {
+	d := newBench(t, settings())
+	var list []ServerEntry
+	for i := range 10 {
+		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), Started: d.now})
+	}
+	d.list(ListFull, list...)
+	placed := 0
+	for i := range 20 {
+		d.now += 500 * ms
+		if _, at := drawsUntilPlaced(d, fmt.Sprint("r", i), map[string]float64{}); at != "" {
+			placed++
+		}
+	}
+	if placed < 10 {
+		t.Errorf("%d of 20 placed on a fleet that is cold, want half at least", placed)
+	}
+}
+
+// An instance that has just started holds nothing, and a wave that comes again must
+// not make servers at half of their load look full: it once was held until its time
+// was up.
+func TestWaveAfterARestart(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c", "d")
+	l := NoLoad
+	l.X0, l.Inflight = 0.55, 20
+	for i := range 24 {
+		id := fmt.Sprint("r", i)
+		got := d.tell(Request{ID: id, Class: "c", Returned: true, Deadline: d.now + time.Second})
+		for len(pick[Probe](got)) > 0 {
+			got = d.tell(ProbeAnswer{Server: pick[Probe](got)[0].Server, Latency: ms, Load: l})
+		}
+		sent := pick[Attempt](got)
+		if len(sent) == 0 {
+			t.Fatalf("request %d of the wave is held", i)
+		}
+		d.tell(Started{ID: id, Server: sent[0].Server})
+		d.run(d.now + 10*ms)
+	}
+}
+
+// What was known of a server is its old process's: a new one under the same id was
+// shunned for the faults of the one that had died with all its connections.
+func TestAnotherProcessStartsAfresh(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 200 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	d.answer("a", 0.9)
+	d.now += 30 * time.Second
+	for i := range 200 {
+		d.tell(AttemptEnded{ID: fmt.Sprint("o", i), Server: "a", Outcome: Reset, Final: true, Load: NoLoad})
+	}
+	d.list(ListDelta, ServerEntry{ID: "a", Started: d.now})
+	s := d.b.servers["a"]
+	if p, cold := d.b.share(&request{}, s), d.b.coldShare(d.b.warmth(s)); p < min(d.b.warmth(s), cold)*0.9 || d.b.loadOf(s) >= 0 {
+		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.loadOf(s))
+	}
+}
+
+// While another process of this instance places too, the least that a cold server is sent
+// at once is shared.
+func TestProcessesShareTheLeast(t *testing.T) {
+	for processes, want := range map[int]int{0: 4, 1: 4, 2: 2} {
+		set := settings()
+		set.Processes = processes
+		d := newBench(t, set, "a", "b", "c", "d")
+		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", Started: d.now}}})
+		s, n := d.b.servers["a"], 0
+		for ; d.b.mayTake(s); n++ {
+			s.sent.add(d.b.now, 1)
+		}
+		if n != want {
+			t.Errorf("%d processes: %d at once, want %d", processes, n, want)
+		}
+	}
+}
+
+// A newcomer holds nothing on a rough day: its reports tempt every node at once, they
+// are late, clients come back in a wave, another server hangs. The rules' book counts
+// what all nodes together send it.
+func TestNewcomerOnARoughDay(t *testing.T) {
+	const nodes, servers, rate, load, life = 4, 8, 120.0, 0.6, 10 * time.Second // rate: first arrivals a second
+	for seed := range uint64(6) {
+		set := settings()
+		set.Instances = nodes
+		set.Rules.FallAfter = 1500 * ms
+		full := rate / load / servers // a second, for one warm server
+		book := rules.NewBook(rules.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.Ramp, ColdShare: 0.2,
+			Rate: full, Multiple: 3, Window: set.Rules.FallAfter, Chance: 2})
+		r := newRough(t, seed, set, book, nodes, servers, full*life.Seconds())
+		r.play(8*time.Second, rate, 0)       // usual
+		r.start("new")                       // with no connections
+		r.play(1500*ms, rate, 2*rate)        // and a wave that returns
+		r.hung["s1"] = true                  // and one answers nothing
+		r.play(3*time.Second, rate, rate)    //
+		r.start("s2")                        // a process replaced under its id
+		r.play(4*time.Second, rate, rate/2)  //
+		for _, broken := range book.Broken { // all rules, not the fourth alone
+			t.Errorf("seed %d: %s", seed, broken)
+		}
+		if got := len(r.conns["new"]); got < 10 {
+			t.Errorf("seed %d: the newcomer holds %d connections after 8 s", seed, got)
+		}
+	}
+}
--- /dev/null
+++ b/balance/draw_test.go
@@ -0,0 +1,174 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+func TestLowDrawDecidesAtOnce(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c")
+	probes, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1})
+	if probes != 1 || at == "" {
+		t.Errorf("placed on %q after %d probes, want 1 probe", at, probes)
+	}
+}
+
+func TestDrawingHaltsAtTrials(t *testing.T) {
+	loads := map[string]float64{}
+	var ids []string
+	for i := range 40 {
+		id := string(rune('A' + i))
+		ids = append(ids, id)
+		loads[id] = fullLoad - 0.04 + float64(i)/1000
+	}
+	d := newBench(t, settings(), ids...)
+	probes, at := drawsUntilPlaced(d, "r", loads)
+	if probes > trials || probes < 2 || at == "" {
+		t.Errorf("placed on %q after %d probes, want at most %d", at, probes, trials)
+	}
+}
+
+// Where every server had a few faults most draws were void, a fifth of the rounds ended
+// with none, and that counted as congestion: placements paused although all could serve.
+func TestMostlyFaultyFleetStillServes(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c", "d")
+	for _, s := range d.b.ready {
+		for range 20 {
+			d.b.fault(s)
+		}
+	}
+	d.run(d.now + time.Second)
+	for i := range 100 {
+		if _, at := drawsUntilPlaced(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}); at == "" {
+			t.Fatalf("request %d is held", i)
+		}
+	}
+	worst := d.b.ready[0] // one that is worse than the rest is still left out
+	for range 200 {
+		d.b.fault(worst)
+	}
+	if share := d.b.share(&request{}, worst); share > 0.1 {
+		t.Errorf("the worst is left %.2f of its draws", share)
+	}
+}
+
+func TestLevels(t *testing.T) {
+	tests := []struct {
+		usual, load float64
+		want        int
+	}{
+		{0.6, 0.2, 0}, {0.6, 0.5, 1}, {0.6, 0.61, 2}, {0.6, 0.95, 3},
+		{0.05, 0.14, 0}, {0.05, 0.29, 1}, // an idle fleet: nothing to even out
+		{1.2, 0.69, 1}, {1.2, 0.71, 2}, // a full one: nearly full never passes as low
+	}
+	for _, tt := range tests {
+		b := &Balancer{usual: tt.usual}
+		if got := b.level(tt.load); got != tt.want {
+			t.Errorf("level of %.2f at usual %.2f is %d, want %d", tt.load, tt.usual, got, tt.want)
+		}
+	}
+}
+
+// x_0 = x_1 = 1: a low draw decides at once. x_l = d above: d draws, then the
+// least loaded of them.
+func TestThresholds(t *testing.T) {
+	loads := map[string]float64{"a": 0.71, "b": 0.715, "c": 0.705}
+	d := newBench(t, settings(), "a", "b", "c")
+	for i := range 30 {
+		probes, at := drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+		if probes > trials || at == "" {
+			t.Fatalf("placed on %q after %d probes, want at most %d", at, probes, trials)
+		}
+		if probes == 3 && at != "c" {
+			t.Errorf("of three probed %s took it, want c, the least loaded", at)
+		}
+	}
+}
+
+func TestDrawsAreUniform(t *testing.T) {
+	const n, each = 20, 500
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("s", i))
+	}
+	d := newBench(t, settings(), ids...)
+	r := &request{class: d.b.classes["c"]}
+	counts := map[string]int{}
+	for range n * each {
+		counts[d.b.pick(r).ID]++
+	}
+	chi := 0.0
+	for _, id := range ids {
+		chi += math.Pow(float64(counts[id]-each), 2) / each
+	}
+	if chi > 43.8 { // 19 degrees of freedom, one in a thousand
+		t.Errorf("chi-square %.1f over %d servers: %v", chi, n, counts)
+	}
+}
+
+// The least of d noisy readings is mostly luck: in a full fleet it would
+// always seem to have room.
+func TestFullFleetIsSeenAsFull(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	for range 40 {
+		d.answer("a", 1)
+	}
+	b, s := d.b, d.b.servers["a"]
+	s.load = 0.72 // a lucky reading
+	if got := b.loadOf(s); got < fullLoad {
+		t.Errorf("load %.2f, want at least %.2f", got, fullLoad)
+	}
+	s.load = 0.1 // room beyond doubt
+	if got := b.loadOf(s); got >= fullLoad {
+		t.Errorf("load %.2f, want under %.2f", got, fullLoad)
+	}
+}
+
+// What is avoided is who drains and who has failed more than the others of late.
+func TestAvoided(t *testing.T) {
+	d := newBench(t, settings(), "a", "b", "c")
+	expect := func(n int, when string) {
+		t.Helper()
+		if got := d.b.Avoided(); got != n {
+			t.Errorf("%s: %d avoided, want %d", when, got, n)
+		}
+	}
+	expect(0, "at first")
+	silent := ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad}
+	d.tell(silent)
+	expect(0, "after one failure")
+	d.tell(silent)
+	expect(1, "after two")
+	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Draining}}})
+	expect(2, "while another drains")
+	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Gone}}})
+	expect(1, "when that is gone")
+	d.now += 30 * time.Second
+	d.tell(TimerFired{})
+	expect(0, "later")
+}
+
+// Probes may all go unanswered while servers work: one of the drawn is tried.
+func TestAllProbesUnanswered(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	d.request("r")
+	if got := pick[Attempt](d.run(d.now + time.Second)); len(got) != 1 {
+		t.Errorf("%v, want one attempt", got)
+	}
+}
+
+// Without probes the last reports decide, as they came with outcomes.
+func TestProbingNotAllowed(t *testing.T) {
+	set := settings()
+	set.Limits.Probes, set.Reports, set.Conns.Groups = false, Reports{WithAnswers: true}, true
+	d := newBench(t, set, "a", "b", "c")
+	d.tell(OpenConn{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
+	for _, group := range []string{"", "g", "h"} { // a group's homes are not probed either
+		got := d.tell(Request{ID: "r" + group, Class: "c", Group: group, Deadline: d.now + 2*time.Second})
+		if len(pick[Probe](got)) != 0 || len(pick[Attempt](got)) != 1 {
+			t.Errorf("group %q: %v, want an attempt without a probe", group, got)
+		}
+	}
+}
--- /dev/null
+++ b/balance/granted.go
@@ -0,0 +1,159 @@
+package balance
+
+// What the fleet lets this instance spend, and what it tells of its spending. Nothing is
+// decided here.
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// evidence is how long what this instance saw of a server is told to others: they
+// are to hear of what fails now, and have a memory of their own.
+const evidence = 2 * time.Second
+
+// Granted is what the whole fleet lets this instance spend, where instances share their
+// budgets: in place of what it would reckon by itself, for as long as For says.
+type Granted struct {
+	Half    int64         // the period that the tokens are for; never falls
+	Until   time.Duration // they are void from then on
+	For     time.Duration // from now: then it is on its own again
+	Servers []Grant       // cold servers; those not named have no tokens
+	Retries float64       // attempts beyond a request's first that may be made now
+	Shunned []string      // servers that enough instances have seen fail
+	Zones   []ZoneGrant   // those not named are not bounded
+	Over    float64       // share of first arrivals to be refused at once: the fleet can't carry them
+}
+
+// ZoneGrant bounds what this instance sends a zone. What stands there stays.
+type ZoneGrant struct {
+	Zone   string
+	Share  float64 // of its draws that is kept, 0 to 1, as in a Bound
+	Tokens int     // attempts in this half; negative for no bound
+}
+
+// Grant is how many attempts at a cold server this instance may make.
+type Grant struct {
+	ID      string
+	Started time.Duration
+	Tokens  int
+}
+
+// Spending is what an instance tells its peers.
+type Spending struct {
+	Half            int64   // that Used is about
+	Firsts, Retries float64 // first arrivals sent and attempts beyond the first, of late
+	Servers         []Spent
+	Zones           []ZoneSpent // those with tokens
+}
+
+// ZoneSpent is how many attempts into a zone there were in the half.
+type ZoneSpent struct {
+	Zone string
+	Used int
+}
+
+// Spent is what an instance tells of one server.
+type Spent struct {
+	ID, Zone      string
+	Load          float64 // as last reported; -1 if it has not
+	Started       time.Duration
+	Cold          bool
+	Part          float64 // of its budget in the time that makes it fall, by this instance's traffic
+	Used          int     // attempts in the half
+	Asked, Failed float64 // attempts and failed probes of late, and all that failed
+}
+
+// Spending tells what this instance has spent of the fleet's budgets, and what it would
+// take part with in them, for its peers.
+func (b *Balancer) Spending(now time.Duration) Spending {
+	b.now = max(b.now, now)
+	sp := Spending{Half: b.half, Firsts: b.rate[1].left(b.now), Retries: b.again.left(b.now)}
+	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
+		s := b.servers[id]
+		x := Spent{ID: id, Zone: s.Zone, Load: s.load, Started: s.Started, Used: s.used,
+			Asked: s.asked.left(b.now), Failed: s.failed.left(b.now)}
+		if w := b.warmth(s); w < 1 && s.slot >= 0 {
+			x.Cold = true
+			x.Part = b.coldRate(w) / float64(len(b.ready)) * s.sent.span.Seconds()
+		}
+		sp.Servers = append(sp.Servers, x)
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.zones)) {
+		if z := b.zones[name]; z.tokens >= 0 {
+			sp.Zones = append(sp.Zones, ZoneSpent{Zone: name, Used: z.used})
+		}
+	}
+	return sp
+}
+
+// shunned is how many faults a verdict of the fleet counts as: a tenth of its draws is left
+// to a server that all others have none of, enough to see it recover.
+const shunned = 9.0
+
+// granted takes what the fleet lets this instance spend. Tokens of an earlier half are
+// void; of the same half only what is said of them is news.
+func (b *Balancer) granted(g Granted) {
+	if g.Half < b.half || !(g.Retries >= 0) {
+		return
+	}
+	for _, s := range b.servers {
+		s.tokens = 0
+		if g.Half > b.half {
+			s.used = 0
+		}
+	}
+	shut := b.grantZones(g)
+	b.half, b.sharedTo, b.tokensTo, b.retries = g.Half, b.now+g.For, g.Until, g.Retries
+	for _, t := range g.Servers {
+		if s := b.servers[t.ID]; s != nil && s.Started == t.Started {
+			s.tokens = max(t.Tokens, 0)
+		}
+	}
+	for _, id := range g.Shunned {
+		if s := b.servers[id]; s != nil {
+			s.faults.add(b.now, max(0, shunned-s.faults.left(b.now)))
+		}
+	}
+	if shut {
+		b.giveUpHopeless()
+	}
+}
+
+// grantZones takes what is said of zones, and tells whether one is shut that was not.
+func (b *Balancer) grantZones(g Granted) (shut bool) {
+	before, bound := b.zones, b.zoned && b.now < b.sharedTo
+	b.zones = make(map[string]*zone, len(before))
+	if g.Half == b.half {
+		for name, z := range before {
+			b.zone(name).used = z.used
+		}
+	}
+	for _, t := range g.Zones {
+		z := b.zone(t.Zone)
+		z.share, z.tokens = clamp(t.Share), t.Tokens
+		was := before[t.Zone]
+		shut = shut || z.share == 0 && (!bound || was == nil || was.share > 0)
+	}
+	b.zoned, b.over = len(g.Zones) > 0, clamp(g.Over)
+	return shut
+}
+
+// zone returns what is kept of a zone, which nothing bounds unless a grant has said so.
+func (b *Balancer) zone(name string) *zone {
+	z := b.zones[name]
+	if z == nil {
+		z = &zone{share: 1, tokens: -1}
+		b.zones[name] = z
+	}
+	return z
+}
+
+// clamp brings a share into 0 to 1. What is no number is 0.
+func clamp(share float64) float64 {
+	if !(share > 0) {
+		return 0
+	}
+	return min(share, 1)
+}
--- /dev/null
+++ b/balance/harness_test.go
@@ -0,0 +1,136 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings returns settings that tests change to their need.
+func settings() Settings {
+	return Settings{
+		Instances: 1,
+		Tick:      ms,
+		Classes:   []Class{{Name: "c", Aim: 400 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms}},
+		AskWithin: 10 * time.Second,
+		Rules: Rules{AnswerGrace: 5 * ms, DrainGrace: time.Second, ColdShare: 0.2, Ramp: 20 * time.Second,
+			FallMultiple: 3, FallAfter: time.Second},
+		Limits:  Limits{Probes: true, RetryAfter: true, MaxAttempts: 3, MaxRetryAfter: time.Second},
+		Reports: Reports{ByProbe: true},
+	}
+}
+
+// bench drives one Balancer: it keeps the clock and the pending timers.
+type bench struct {
+	t      *testing.T
+	b      *Balancer
+	now    time.Duration
+	timers []timer
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+func newBench(t *testing.T, set Settings, servers ...string) *bench {
+	t.Helper()
+	b, err := New(1, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &bench{t: t, b: b, now: time.Second}
+	d.list(ListCached, entries(servers...)...)
+	return d
+}
+
+func entries(ids ...string) []ServerEntry {
+	list := make([]ServerEntry, len(ids))
+	for i, id := range ids {
+		list[i] = ServerEntry{ID: id}
+	}
+	return list
+}
+
+// tell hands over an event and returns the actions but for timers.
+func (d *bench) tell(ev Event) []Action {
+	var rest []Action
+	for _, a := range d.b.Handle(d.now, ev, nil) {
+		if t, ok := a.(SetTimer); ok {
+			d.timers = append(d.timers, timer{d.now + t.Delay, t.Token})
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	return rest
+}
+
+func (d *bench) list(kind ListKind, list ...ServerEntry) []Action {
+	return d.tell(ListUpdate{Kind: kind, Entries: list})
+}
+
+func (d *bench) request(id string) []Action {
+	return d.tell(Request{ID: id, Class: "c", Deadline: d.now + 2*time.Second})
+}
+
+func (d *bench) answer(server string, x0 float64) []Action {
+	l := NoLoad
+	l.X0 = x0
+	return d.tell(ProbeAnswer{Server: server, Outcome: OK, Latency: ms, Load: l})
+}
+
+// run lets time pass, firing timers in order, and returns the actions.
+func (d *bench) run(until time.Duration) []Action {
+	var all []Action
+	for {
+		first := -1
+		for i, t := range d.timers {
+			if t.at <= until && (first < 0 || t.at < d.timers[first].at) {
+				first = i
+			}
+		}
+		if first < 0 {
+			d.now = until
+			return all
+		}
+		t := d.timers[first]
+		d.timers = append(d.timers[:first], d.timers[first+1:]...)
+		d.now = max(d.now, t.at)
+		all = append(all, d.tell(TimerFired{Token: t.token})...)
+	}
+}
+
+// pick returns the actions of type T.
+func pick[T Action](actions []Action) []T {
+	var found []T
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// drawsUntilPlaced lets a request draw with every probe answered by loads, and
+// returns how many probes it took and where the request went.
+func drawsUntilPlaced(d *bench, id string, loads map[string]float64) (int, string) {
+	actions, probes := d.request(id), 0
+	for {
+		if sent := pick[Attempt](actions); len(sent) > 0 {
+			return probes, sent[0].Server
+		}
+		asked := pick[Probe](actions)
+		if len(asked) == 0 {
+			return probes, ""
+		}
+		probes++
+		actions = d.answer(asked[0].Server, loads[asked[0].Server])
+	}
+}
+
+func report(x0, inflight float64) Load {
+	l := NoLoad
+	l.X0, l.Inflight = x0, inflight
+	return l
+}
--- /dev/null
+++ b/balance/homes_test.go
@@ -0,0 +1,108 @@
+package balance
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A wave scattered the members of a group over the fleet, and each new holder
+// paid for the group: a tie goes to where this instance holds it.
+func TestGroupsStayTogether(t *testing.T) {
+	set := settings()
+	set.Conns.Groups = true
+	d := newBench(t, set, "a", "b", "c", "d", "e", "f")
+	d.tell(OpenConn{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "d"})
+	for i, tt := range []struct {
+		load float64
+		home bool
+	}{{0.2, true}, {0.9, false}} {
+		id := fmt.Sprint("r", i)
+		actions := d.tell(Request{ID: id, Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
+		for len(pick[Probe](actions)) > 0 {
+			server, load := pick[Probe](actions)[0].Server, 0.1
+			if server == "d" {
+				load = tt.load
+			}
+			actions = d.answer(server, load)
+		}
+		sent := pick[Attempt](actions)
+		if len(sent) != 1 || (sent[0].Server == "d") != tt.home {
+			t.Errorf("home at %.1f: sent %v", tt.load, sent)
+		}
+	}
+}
+
+// Many instances see a few members of a group each. Where its first home is fuller than
+// the usual, or full, their members scattered over the fleet, and each new holder paid.
+func TestInstancesGatherAGroup(t *testing.T) {
+	set := settings()
+	set.Conns.Groups, set.Instances = true, 40
+	ids := make([]string, 20)
+	for i := range ids {
+		ids[i] = fmt.Sprint("s", i)
+	}
+	loads, taken := map[string]float64{}, []string{}
+	for _, tt := range []struct {
+		name  string
+		usual float64 // load of all others
+		homes float64 // load of the homes that were taken before
+	}{{"an easy fleet", 0.3, 0}, {"a home above the usual", 0.3, 0.65}, {"one home is full", 0.6, 0.9}, {"two are", 0.6, 0.9}} {
+		for _, id := range ids {
+			loads[id] = tt.usual
+		}
+		for _, id := range taken {
+			loads[id] = tt.homes
+		}
+		at := map[string]int{}
+		for i := range set.Instances {
+			d := newBench(t, set, ids...)
+			d.b.rng = rand.New(rand.NewPCG(uint64(i), 7))
+			actions := d.tell(Request{ID: "r", Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
+			for len(pick[Probe](actions)) > 0 {
+				server := pick[Probe](actions)[0].Server
+				actions = d.answer(server, loads[server])
+			}
+			for _, sent := range pick[Attempt](actions) {
+				at[sent.Server]++
+			}
+		}
+		for id, n := range at {
+			if n < set.Instances {
+				t.Errorf("%s: %s has %d of %d members: %v", tt.name, id, n, set.Instances, at)
+				break
+			}
+			if !slices.Contains(taken, id) {
+				taken = append(taken, id)
+			}
+		}
+	}
+	if len(taken) != 3 {
+		t.Errorf("homes %v, want three in all", taken)
+	}
+}
+
+// A group's homes are those that its route and the fleet allow, and it gathers there.
+func TestHomesWithinBounds(t *testing.T) {
+	set := settings()
+	set.Conns.Groups = true
+	d := newBench(t, set)
+	var list []ServerEntry
+	for i := range 120 {
+		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint(i % 12)})
+	}
+	d.list(ListFull, list...)
+	d.grant(Granted{Zones: []ZoneGrant{{"3", 0, -1}}})
+	got := d.spread(Request{Group: "g", Bound: only("3", "7")}, 50)
+	for at := range got {
+		if s := d.b.servers[at]; s == nil || s.Zone != "7" {
+			t.Errorf("%q took members", at)
+		}
+	}
+	if most := slices.Max(slices.Collect(maps.Values(got))); most < 40 {
+		t.Errorf("%v, want nearly all in one place", got)
+	}
+}
--- /dev/null
+++ b/balance/list_test.go
@@ -0,0 +1,58 @@
+package balance
+
+import (
+	"testing"
+)
+
+// A few instances ask a dead list service every 2 s or so: what it has to tell
+// counts as told after some seconds, whether it could be asked or not.
+func TestDeadListIsAskedOften(t *testing.T) {
+	set := settings()
+	set.ListAsked, set.Instances = true, 3
+	d := newBench(t, set, "a")
+	d.run(d.now + set.AskWithin)
+	for i := range 8 {
+		failed := d.now
+		d.list(ListFailed)
+		for len(pick[Subscribe](d.run(d.now+100*ms))) == 0 && d.now < failed+set.AskWithin {
+		}
+		if gap := d.now - failed; gap > 3500*ms {
+			t.Errorf("call %d came after %v", i, gap)
+		}
+	}
+}
+
+func TestSubscription(t *testing.T) {
+	set := settings()
+	set.ListAsked, set.Instances = true, 50
+	d := newBench(t, set, "a")
+	if got := pick[Subscribe](d.run(d.now + set.AskWithin)); len(got) != 1 {
+		t.Fatalf("%d calls within the time allowed, want 1", len(got))
+	}
+	last := d.now
+	for i := range 8 { // every call fails
+		d.list(ListFailed)
+		var got []Subscribe
+		for len(got) == 0 && d.now < last+4*set.AskWithin {
+			got = pick[Subscribe](d.run(d.now + 100*ms))
+		}
+		if gap := d.now - last; len(got) != 1 || gap > set.AskWithin {
+			t.Errorf("call %d came after %v, want within %v", i, gap, set.AskWithin)
+		}
+		last = d.now
+	}
+	d.list(ListDelta)
+	if got := pick[Subscribe](d.run(d.now + 5*set.AskWithin)); len(got) != 0 {
+		t.Errorf("%d calls while subscribed", len(got))
+	}
+}
+
+// A draining server that a later whole list does not name is forgotten too.
+func TestUnlistedServersAreForgotten(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	d.list(ListDelta, ServerEntry{ID: "a", State: Draining})
+	d.list(ListFull, entries("b")...)
+	if len(d.b.servers) != 1 || len(d.b.ready) != 1 || len(d.b.ring) != 1 {
+		t.Errorf("%d servers, %d ready, %d on the ring; want 1 each", len(d.b.servers), len(d.b.ready), len(d.b.ring))
+	}
+}
--- /dev/null
+++ b/balance/probe_test.go
@@ -0,0 +1,181 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// A class that names no aim left its probes no time at all: every server was passed over
+// before it could answer, and the draws told nothing.
+func TestProbesWithoutAnAim(t *testing.T) {
+	set := settings()
+	set.Classes[0].Aim = 0
+	d := newBench(t, set, "a", "b")
+	asked := pick[Probe](d.request("r"))
+	if got := d.run(d.now + 5*ms); len(got) != 0 {
+		t.Errorf("after 5 ms: %v, want to wait for %s", got, asked[0].Server)
+	}
+	if got := pick[Attempt](d.answer(asked[0].Server, 0.1)); len(got) != 1 {
+		t.Errorf("placed by its answer: %v, want one attempt", got)
+	}
+}
+
+// A load counter that has wrapped was cut into a level below 0, as the whole number
+// overflowed, and its server passed as low. What is no number poisoned the usual load
+// and the load of one connection for good.
+func TestReportsThatCannotBe(t *testing.T) {
+	inf, nan := math.Inf(1), math.NaN()
+	for _, l := range []Load{report(nan, 5), report(inf, 5), report(18446744073709551615, 5), report(1e300, 5),
+		report(inf, inf), report(0.3, nan), report(0.3, inf), report(0.3, 18446744073709551615),
+		report(-0.3, 5), report(math.Inf(-1), 5), report(0.3, -1)} {
+		t.Run(fmt.Sprint(l.X0, " with ", l.Inflight), func(t *testing.T) {
+			d := newBench(t, settings(), "a", "b")
+			tell := func(s string, l Load) []Action {
+				return d.tell(ProbeAnswer{Server: s, Outcome: OK, Latency: ms, Load: l})
+			}
+			for i := range 20 {
+				d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
+				tell("a", report(0.5, 20))
+				tell("b", report(0.5, 20))
+			}
+			usual := d.b.usual
+			tell("a", l)
+			if got := d.b.usual; !(math.Abs(got-usual) < 0.2) {
+				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
+			}
+			if believed := l.X0 >= 0 && l.X0 < 1; !believed {
+				asked, actions := "", d.request("r")
+				for asked != "a" && len(pick[Probe](actions)) > 0 { // let it be drawn
+					if asked = pick[Probe](actions)[0].Server; asked == "a" {
+						actions = tell("a", l)
+					} else {
+						actions = tell("b", report(0.95, 20))
+					}
+				}
+				if got := pick[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.X0 > 1 {
+					t.Error("passed as low")
+				}
+			}
+			if w := d.b.weight(d.b.track(Request{ID: "w", Class: "c"}), d.b.servers["a"]); !(w > 0.001) || w > 0.25 {
+				t.Errorf("a connection weighs %v there", w)
+			}
+			tell("a", report(0.5, 20))
+			if got := d.b.loadOf(d.b.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
+				t.Errorf("load %v after a sound report of 0.5", got)
+			}
+		})
+	}
+}
+
+// One client's hint of 1e300 became the mean, and for thousands of requests no other
+// connection weighed anything: what was placed did not show.
+func TestOneHugeHint(t *testing.T) {
+	for _, huge := range []float64{1e300, math.Inf(1), 1e18, math.NaN(), -1, 0} {
+		t.Run(fmt.Sprint(huge), func(t *testing.T) {
+			d := newBench(t, settings(), "a")
+			hinted := func(id string, hint float64) float64 {
+				d.tell(Request{ID: id, Class: "c", Hint: hint, Deadline: d.now + time.Second})
+				d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+				w := d.b.weight(d.b.requests[id], d.b.servers["a"])
+				d.tell(ClientGone{ID: id})
+				return w
+			}
+			usual := 0.0
+			for i := range 100 {
+				usual = hinted(fmt.Sprint("r", i), 0.5)
+			}
+			if w := hinted("huge", huge); !(w > 0) || w > 0.25 {
+				t.Errorf("it weighs %v", w)
+			}
+			if w := hinted("q", 0.5); !(w > usual/2) || w > 2*usual {
+				t.Errorf("another weighs %v after it, %v before", w, usual)
+			}
+		})
+	}
+}
+
+// Where it came first it was the mean itself, and the others still weighed nothing.
+func TestHugeHintComesFirst(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
+		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", Hint: hint, Deadline: d.now + time.Second})
+		if w := d.b.weight(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
+			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
+		}
+	}
+}
+
+// The first hint after a hundred connections without one counted 1/64 of itself as
+// the mean, and its connection weighed 64 times what it should.
+func TestFirstHint(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	for i := range 100 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	d.run(d.now + 20*time.Second)
+	d.answer("a", 0.5)
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.5, 100)})
+	d.tell(Request{ID: "r", Class: "c", Hint: 7, Deadline: d.now + time.Second})
+	if w := d.b.weight(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
+		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
+	}
+}
+
+// A server that was overfull when its connections were taken over is looked at
+// once, although no request draws it and no note tells of it.
+// A full server serves nobody in time, but one below its capacity serves all: up
+// to nine tenths callers stay where they are, and new ones are placed up to 0.85.
+func TestBusyIsNotFull(t *testing.T) {
+	for load, want := range map[float64]bool{0.8: true, 0.9: false} {
+		d := newBench(t, settings(), "a")
+		d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		if got := d.answer("a", load); len(pick[Move](got)) != 0 {
+			t.Errorf("moved at load %.2f", load)
+		}
+		if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": load}); (at != "") != want {
+			t.Errorf("placed %v at load %.2f, want %v", at != "", load, want)
+		}
+	}
+}
+
+// A server may be slow with cores to spare, as a noisy neighbour takes them. Where a
+// message takes longer than its aim, it serves nobody, and counts as full.
+func TestSlowIsFull(t *testing.T) {
+	for latency, want := range map[float64]bool{20: true, 300: false} {
+		d := newBench(t, settings(), "a")
+		d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		l := NoLoad
+		l.X0, l.Latency = 0.4, latency
+		d.request("r")
+		got := d.tell(ProbeAnswer{Server: "a", Latency: ms, Load: l})
+		if sent := len(pick[Attempt](got)) > 0; sent != want {
+			t.Errorf("sent there with a service time of %v ms: %v, want %v", latency, sent, want)
+		}
+	}
+}
+
+// What was refused weighed on its server for a second all the same, as if it had been
+// placed: a server that could serve the next looked fuller with each.
+func TestWhatFailedWeighsNothing(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	l := report(0.4, 8)
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	before := d.b.loadOf(d.b.servers["a"])
+	for i := range 5 {
+		id := string(rune('a' + i))
+		d.request(id)
+		if sent := pick[Attempt](d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})); len(sent) != 1 {
+			t.Fatalf("request %d was not sent", i)
+		}
+		d.now += 20 * ms
+		d.tell(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, Load: NoLoad})
+		d.run(d.now + time.Second/4)
+	}
+	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	if got := d.b.loadOf(d.b.servers["a"]); got > before+0.01 {
+		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
+	}
+}
--- /dev/null
+++ b/balance/relief_test.go
@@ -0,0 +1,105 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The timer of a probe's patience, still to come when the connection stood,
+// was taken for the one that moves it.
+func TestOldTimersMoveNothing(t *testing.T) {
+	d := newBench(t, settings(), "a")
+	if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1}); at != "a" {
+		t.Fatalf("placed on %q", at)
+	}
+	d.tell(Started{ID: "r", Server: "a"})
+	if got := pick[Move](d.run(d.now + 5*time.Second)); len(got) != 0 {
+		t.Errorf("%d moves, want none", len(got))
+	}
+}
+
+func TestConnectionsLeaveADrainingServer(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 5 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	d.list(ListDelta, ServerEntry{ID: "a", State: Draining})
+	if got := pick[Move](d.run(d.now + drainSpread + ms)); len(got) != 5 {
+		t.Errorf("%d moves within the spread, want 5", len(got))
+	}
+}
+
+// Moves follow fresh reports only: an unanswered probe leaves the last one,
+// which may be long out of date.
+func TestMovesNeedAFreshReport(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := newBench(t, settings(), "a", "b")
+		for i := range 20 {
+			d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		}
+		d.now += 10 * time.Second
+		d.b.servers["a"].load = 3
+		var got []Action
+		if answered {
+			got = d.answer("a", 3)
+		} else {
+			got = d.tell(ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad})
+		}
+		if moves := len(pick[Move](got)); (moves > 0) != answered {
+			t.Errorf("answered %v: %d moves", answered, moves)
+		}
+	}
+}
+
+// A server that is far above an easy fleet sheds callers sooner: on a calm day its
+// load swings over its capacity now and then, and others have room.
+func TestUnevenLoadIsRelieved(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 40 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	for range 16 {
+		d.answer("b", 0.4)
+	}
+	if got := pick[Move](d.answer("a", 0.87)); len(got) == 0 {
+		t.Error("nobody moved from a server at load 0.87 beside one at 0.40")
+	}
+}
+
+// A server that was overfull from the start is relieved in its first seconds: a
+// report from before is asked for again, the first round has the whole budget of
+// moves, and after it the server is looked at again, all without a draw.
+func TestOverfullFromTheStart(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	for i := range 40 {
+		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+	}
+	loads := []float64{0, 1.06, 1} // as its reports tell, one after the other
+	var moved []int
+	for d.now < 5*time.Second && len(moved) < len(loads) {
+		for range pick[Probe](d.run(d.now + house)) {
+			moved = append(moved, len(pick[Move](d.answer("a", loads[len(moved)]))))
+		}
+	}
+	if len(moved) != 3 || moved[0] != 0 || moved[1] < 6 || moved[2] == 0 {
+		t.Errorf("moved %v after each look, want none, a good part, some more", moved)
+	}
+}
+
+// On sockets nothing tells of a server that grows full or slow but its reports, and
+// draws may not meet it for many seconds: one that holds connections is looked at.
+func TestServersInUseAreLookedAt(t *testing.T) {
+	d := newBench(t, settings(), "a", "b")
+	d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+	probed := map[string]int{}
+	for range 40 {
+		for _, p := range pick[Probe](d.run(d.now + house)) {
+			probed[p.Server]++
+			d.answer(p.Server, 0.5)
+		}
+	}
+	if probed["a"] < 5 || probed["a"] > 12 || probed["b"] != 0 {
+		t.Errorf("probed %v in 10 s, want a now and then and b never", probed)
+	}
+}
--- /dev/null
+++ b/cmd/coralctl/change.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/keyfile"
+)
+
+// A changeArg says who changes accounts or routes, by which agent and why.
+type changeArg struct {
+	agentArg
+	Key    string `required:"" placeholder:"FILE" help:"The key that signs, made with 'coralctl account key'."`
+	Why    string `required:"" help:"Stands with the change, for people."`
+	DryRun bool   `help:"Ask whether it would be taken, and change nothing."`
+}
+
+// accounts asks the agent for the tree as it knows it.
+func (a *agentArg) accounts() (addr string, s account.State, err error) {
+	if addr, err = a.addr(); err != nil {
+		return "", s, err
+	}
+	var all struct {
+		Accounts account.State `json:"accounts"`
+	}
+	err = link.Call(addr, link.Ask{Ask: "record"}, &all)
+	return addr, all.Accounts, err
+}
+
+// send has operations taken together, on the tree as the agent knows it.
+func (c *changeArg) send(ops func(account.State) ([]account.Op, error)) error {
+	private, err := keyfile.LoadAuthority(c.Key)
+	if err != nil {
+		return err
+	}
+	addr, s, err := c.accounts()
+	if err != nil {
+		return err
+	}
+	change := account.Change{Base: s.Version}
+	if change.Ops, err = ops(s); err != nil {
+		return err
+	}
+	body, err := json.Marshal(change)
+	if err != nil {
+		return err
+	}
+	e := entry.Entry{Kind: entry.Accounts, At: time.Now().UnixMilli(), Why: c.Why, Body: body,
+		Key: account.KeyName(private.Public().(ed25519.PublicKey))}
+	e.Sig = ed25519.Sign(private, e.Signed())
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	ask := link.Ask{Ask: "propose", Entry: raw}
+	if c.DryRun {
+		ask.Ask = "check"
+	}
+	var answer struct {
+		Outcome entry.Outcome `json:"outcome"`
+	}
+	var no *link.Refusal
+	if err := link.Call(addr, ask, &answer); errors.As(err, &no) && no.Unknown {
+		return fmt.Errorf("%w; it may have been taken or may yet be: look before you try again, it can't be taken twice", err)
+	} else if err != nil {
+		return err
+	}
+	switch o := answer.Outcome; {
+	case !o.Taken && c.DryRun:
+		return fmt.Errorf("would be refused: %s", o.Reason)
+	case !o.Taken:
+		return fmt.Errorf("refused at index %d: %s", o.Index, o.Reason)
+	case c.DryRun:
+		fmt.Println("would be taken, as things stand at index", o.Index)
+	default:
+		fmt.Println("taken at index", o.Index)
+	}
+	return nil
+}
+
+// one is send for a single operation.
+func (c *changeArg) one(op account.Op) error {
+	return c.send(func(account.State) ([]account.Op, error) { return []account.Op{op}, nil })
+}
+
+type accountApplyCmd struct {
+	changeArg
+	File string `arg:"" help:"JSON: a list of operations as docs/operate/accounts.md has them. All take hold together or none does."`
+}
+
+func (c *accountApplyCmd) Run() error {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	var ops []account.Op
+	if err := entry.Strict(raw, &ops); err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	return c.send(func(account.State) ([]account.Op, error) { return ops, nil })
+}
--- /dev/null
+++ b/cmd/coralctl/fleet.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/operator"
+)
+
+// An agentArg says which agent is asked.
+type agentArg struct {
+	Agent  string `placeholder:"HOST:PORT" xor:"agent" required:"" help:"Where the agent answers, as fleet.agent has it."`
+	Config string `placeholder:"FILE" xor:"agent" required:"" help:"The operator's file whose fleet.agent is asked."`
+}
+
+func (a *agentArg) addr() (string, error) {
+	if a.Agent != "" {
+		return a.Agent, nil
+	}
+	f, err := (&fileArg{a.Config}).export()
+	if err != nil {
+		return "", err
+	}
+	own, err := operator.Parse(f)
+	if err == nil && own.Fleet.Agent == "" {
+		err = errors.New("fleet.agent: empty, there is no agent to ask")
+	}
+	return own.Fleet.Agent, err
+}
+
+type fleetCmd struct {
+	State fleetStateCmd `cmd:"" help:"What an agent knows of the record, the zones and the members, and what it tells its node."`
+}
+
+type fleetStateCmd struct{ agentArg }
+
+func (c *fleetStateCmd) Run() error {
+	addr, err := c.addr()
+	if err != nil {
+		return err
+	}
+	var s link.State
+	if err := link.Call(addr, link.Ask{Ask: "state"}, &s); err != nil {
+		return err
+	}
+	return printState(os.Stdout, &s, time.Now())
+}
+
+func printState(out io.Writer, s *link.State, now time.Time) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "member\t%s\n", s.Name)
+	fmt.Fprintf(w, "zone\t%s\n", or(s.Zone, "none"))
+	fmt.Fprintf(w, "record\t%s\n", s.Record)
+	if s.Record == "on" {
+		fmt.Fprintf(w, "index\t%d %.12s\n", s.Index, s.Hash)
+		fmt.Fprintf(w, "role\t%s, the leader is %s\n", s.Role, or(s.Leader, "not known"))
+		fmt.Fprintf(w, "heard\t%s\n", heard(s))
+		fmt.Fprintf(w, "disk\t%s\n", or(s.Disk, "good"))
+	}
+	if s.Over > 0 {
+		fmt.Fprintf(w, "refused\t%.0f %% of first arrivals: the zones that stay can't carry them\n", 100*s.Over)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "FROM\tTO\tPOSTURE\tSHARE\tSINCE\tNOT BEFORE")
+	for _, z := range s.Postures {
+		posture := z.Posture
+		if z.Step > 0 {
+			posture = fmt.Sprintf("%s, step %d, %.3g/s", z.Posture, z.Step, z.Rate)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%s\t%s\n", z.From, z.To, posture, z.Share, ago(now, z.Since), ago(now, z.Until))
+	}
+	if len(s.Postures) == 0 {
+		fmt.Fprintln(w, "all zones are open")
+	}
+	for _, b := range s.Bounds {
+		fmt.Fprintf(w, "this node\t%s\tbound\t%.2f\n", b.Zone, b.Share)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "MEMBER\tZONE\tSTATUS\tINDEX\tLAST WORD")
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, or(m.Zone, "-"), m.Status, m.Index, ago(now, m.At))
+	}
+	return w.Flush()
+}
+
+func heard(s *link.State) string {
+	switch {
+	case s.Heard < 0:
+		return "never: this member acts on its last state and on what its node sees"
+	case !s.Fresh:
+		return fmt.Sprintf("%d ms ago: too long, this member acts on its last state and on what its node sees", s.Heard)
+	}
+	return fmt.Sprintf("%d ms ago", s.Heard)
+}
+
+// ago words a time in Unix ms for people; 0 is none.
+func ago(now time.Time, ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	d := now.Sub(time.UnixMilli(ms)).Round(time.Second)
+	if d < 0 {
+		return fmt.Sprintf("in %v", -d)
+	}
+	return fmt.Sprintf("%v ago", d)
+}
+
+func or(s, other string) string {
+	if s == "" {
+		return other
+	}
+	return s
+}
--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"text/tabwriter"
 	"time"
@@ -32,6 +33,9 @@
 	Store struct {
 		Ledger storeLedgerCmd `cmd:"" help:"Show a ledger of spent tokens."`
 	} `cmd:"" help:"Look into a store that no node has open."`
+	Fleet   fleetCmd   `cmd:"" help:"Ask the agent beside a node."`
+	Account accountCmd `cmd:"" help:"Accounts, teams and who may change what, through the agent beside a node."`
+	Route   routeCmd   `cmd:"" help:"Routes of accounts and teams."`
 }
 
 // A fileArg is a file of the operator's.
@@ -144,15 +148,21 @@
 }
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	var c cli
 	k := kong.Parse(&c, kong.Name("coralctl"), kong.UsageOnError(),
-		kong.Description("Check operator's files, make keys, look into stores."))
+		kong.Description("Check operator's files, make keys, look into stores, ask agents."))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		var missing *os.PathError
-		if errors.As(err, &missing) {
-			os.Exit(1)
+		var away *net.OpError
+		if errors.As(err, &missing) || errors.As(err, &away) {
+			return 1
 		}
-		os.Exit(unusable)
+		return unusable
 	}
+	return 0
 }
--- /dev/null
+++ b/cmd/coralctl/route.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"coralrelay/internal/fleet/account"
+)
+
+type routeCmd struct {
+	Put  routePutCmd  `cmd:"" help:"Add a route, or replace it whole."`
+	Drop routeDropCmd `cmd:"" help:"Take a route away."`
+	List routeListCmd `cmd:"" help:"List routes in the order in which they are looked at, as an agent knows them."`
+}
+
+type routePutCmd struct {
+	Owner    string   `arg:"" help:"Path of the account or team, such as acme/web."`
+	Name     string   `arg:"" help:"The route's name."`
+	Class    string   `help:"Only this class."`
+	Tenant   string   `help:"Only this tenant (realm)."`
+	Group    string   `help:"Only this group's key."`
+	From     float64  `help:"Only groups whose hash is in a range, of 0 to 1: from here ..."`
+	To       float64  `help:"... to below here."`
+	Returned *bool    `help:"Only those that return (or, with =false, that do not)."`
+	Retry    *bool    `help:"Only those that are tried again (or, with =false, that are not)."`
+	Part     []string `placeholder:"ZONE=PERCENT" help:"How much goes to a zone or region, 100 in all. None for all that the owner may use."`
+	Contract string   `help:"The contract it is under."`
+	Priority int      `help:"The lower keeps longest when its owner is cut."`
+	limitArgs
+	changeArg
+}
+
+func (c *routePutCmd) Run() error {
+	r := &account.Route{Name: c.Name, Contract: c.Contract, Priority: c.Priority, Limits: account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1},
+		Match: account.Match{Class: c.Class, Tenant: c.Tenant, Group: c.Group, From: c.From, To: c.To, Returned: c.Returned, Retry: c.Retry}}
+	c.over(&r.Limits)
+	for _, part := range c.Part {
+		zone, word, _ := strings.Cut(part, "=")
+		percent, err := strconv.ParseFloat(word, 64)
+		if err != nil {
+			return fmt.Errorf("part %q: want ZONE=PERCENT", part)
+		}
+		r.Parts = append(r.Parts, account.Part{Zone: zone, Percent: percent})
+	}
+	return c.send(func(s account.State) ([]account.Op, error) {
+		op := account.Op{Do: account.PutRoute, Path: c.Owner, Route: r}
+		if old := s.Routes[c.Owner+":"+c.Name]; old != nil {
+			op.Was = old.Version
+		}
+		return []account.Op{op}, nil
+	})
+}
+
+type routeDropCmd struct {
+	Owner string `arg:"" help:"Path of the account or team."`
+	Name  string `arg:"" help:"The route's name."`
+	changeArg
+}
+
+func (c *routeDropCmd) Run() error {
+	return c.one(account.Op{Do: account.NoRoute, Path: c.Owner, Name: c.Name})
+}
+
+type routeListCmd struct {
+	agentArg
+	Below string `help:"Only those of a subtree."`
+}
+
+func (c *routeListCmd) Run() error {
+	_, s, err := c.accounts()
+	if err != nil {
+		return err
+	}
+	return printRoutes(os.Stdout, s, c.Below)
+}
+
+func printRoutes(out io.Writer, s account.State, below string) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "ROUTE\tMATCHES\tGOES TO\tOPEN\tRATE\tRETRIES\tPROBES\tCONTRACT")
+	for _, r := range s.Ordered() {
+		if below != "" && r.Owner != below && !strings.HasPrefix(r.Owner, below+"/") {
+			continue
+		}
+		parts := make([]string, len(r.Parts))
+		for i, p := range r.Parts {
+			parts[i] = fmt.Sprintf("%s %v%%", p.Zone, p.Percent)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Path(), matches(r.Match), list(parts),
+			figures(r.Limits.Open, r.Limits.Rate, r.Limits.Retries, r.Limits.Probes), or(r.Contract, "-"))
+	}
+	return w.Flush()
+}
+
+func matches(m account.Match) string {
+	var words []string
+	for _, f := range [][2]string{{"class", m.Class}, {"tenant", m.Tenant}, {"group", m.Group}} {
+		if f[1] != "" {
+			words = append(words, f[0]+" "+f[1])
+		}
+	}
+	if m.From != 0 || m.To != 0 {
+		words = append(words, fmt.Sprintf("hash %v to %v", m.From, m.To))
+	}
+	if m.Returned != nil {
+		words = append(words, fmt.Sprintf("returned %v", *m.Returned))
+	}
+	if m.Retry != nil {
+		words = append(words, fmt.Sprintf("retry %v", *m.Retry))
+	}
+	return or(strings.Join(words, ", "), "all")
+}
--- a/cmd/coralfleet/main.go
+++ b/cmd/coralfleet/main.go
@@ -9,21 +9,23 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"coralrelay/internal/fleet/agent"
 	"coralrelay/internal/fleet/link"
 	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/share"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/operator"
 	"coralrelay/internal/sabotage"
 )
 
 type cli struct {
-	Config string `required:"" placeholder:"FILE" help:"The operator's own file, CUE or JSON, that the node has too."`
+	Config      string        `required:"" placeholder:"FILE" help:"The operator's own file, CUE or JSON, that the node has too."`
+	ClockOffset time.Duration `hidden:"" help:"How far this agent's clock is ahead of the machine's, for rehearsals."`
 }
 
 func main() {
@@ -52,22 +54,41 @@
 	if f.Agent == "" {
 		return operator.Fault{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
 	}
-	cfg := share.Config{Epoch: f.Epoch.Duration, Hold: f.Hold.Duration, Fresh: f.Fresh.Duration, Retries: f.Retries, Shun: f.Shun}
-	guards := share.Guards{Ranks: sabotage.On("ranks"), Expire: sabotage.On("expire"), Quorum: sabotage.On("quorum"), Budget: sabotage.On("budget")}
-	a := member.NewAgent(f.Name, cfg, guards, func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) + c.ClockOffset }
+	m := newMember(f, clock)
 	l, err := net.Listen("tcp", f.Agent)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
 	defer cancel()
+	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.Record.Lease.Duration, Clock: clock,
+		Offset: c.ClockOffset, Together: sabotage.On("together"), Guards: zoneGuards()}
+	if f.Zones.Enabled {
+		zones := f.Zones.Config()
+		o.Zones = &zones
+	}
+	o.Promises = promises(f)
+	if f.Record.On() {
+		deal := f.Deal()
+		o.Accounts = &deal
+		if err := keepRecord(ctx, &parts, f, &o); err != nil {
+			// The node beside this agent is served all the same.
+			slog.Error("fleet: the record is not kept, this member acts on what its node sees", "err", err)
+			o.Why = err.Error()
+		}
+	}
+	a := agent.New(o)
+	parts.Go(func() { a.Run(ctx) })
 	served := make(chan error, 1)
 	go func() {
 		defer cancel() // without it the node can't ask
-		served <- link.Serve(ctx, l, a.Answer)
+		served <- link.Serve(ctx, l, a)
 	}()
-	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent)
-	err = a.Run(ctx, member.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
+	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.Record.On(), "zones", f.Zones.Enabled)
+	err = m.Run(ctx, member.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
 		Open: sabotage.On("open"), Interval: f.Interval.Duration, Log: toLog{}})
 	cancel()
 	if e := <-served; err == nil {
@@ -76,13 +97,13 @@
 	return err
 }
 
-// toLog takes memberlist's lines, which begin with their level.
+// toLog takes memberlist's and raft's lines, which begin with their level.
 type toLog struct{}
 
 func (toLog) Write(b []byte) (int, error) {
 	text := strings.TrimSpace(string(b))
 	level := slog.LevelDebug
-	if strings.HasPrefix(text, "[ERR]") || strings.HasPrefix(text, "[WARN]") {
+	if strings.HasPrefix(text, "[ERR") || strings.HasPrefix(text, "[WARN]") {
 		level = slog.LevelInfo // a peer that is gone is no fault of this one
 	}
 	slog.Log(context.Background(), level, text)
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -2,21 +2,40 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 
 	"coralrelay/internal/decide"
 	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/operator"
 	"coralrelay/internal/sabotage"
 )
 
-// startFleet keeps the node to the fleet's budgets, as the agent at addr tells them, if one
-// is named. While the agent can't be reached the node goes on by itself.
-func startFleet(ctx context.Context, parts *sync.WaitGroup, addr string, core *decide.Core) {
-	if addr == "" || sabotage.On("deaf") {
-		return
+// startFleet keeps the node to the fleet's budgets and routes, as its agent tells them, if one
+// is named. While the agent can't be reached the node goes on by itself. It is called before
+// the Core runs.
+func startFleet(ctx context.Context, parts *sync.WaitGroup, f operator.Fleet, core *decide.Core) error {
+	if f.Agent == "" || sabotage.On("deaf") {
+		return nil
 	}
-	l := &link.Link{Addr: addr, Spending: core.Spending, Granted: core.Grant,
-		Lost: func(err error) { slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err) }}
+	lost := func(err error) {
+		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
+	}
+	l := &link.Link{Addr: f.Agent, Say: func() link.Said { return link.Said{Spending: core.Spending()} },
+		Take: func(t link.Told) { core.Grant(t.Granted) }, Lost: lost}
+	if f.Record.On() {
+		r, err := newRoutes(core, f.Deal())
+		if err != nil {
+			return fmt.Errorf("fleet: routes: %w", err)
+		}
+		core.Router = r
+		say, take := l.Say, l.Take
+		l.Say = func() link.Said { s := say(); r.say(&s); return s }
+		l.Take = func(t link.Told) { take(t); r.take(&t) }
+		l.Lost = func(err error) { r.lost(); lost(err) }
+	}
+	countPromises(l, f, core)
 	parts.Go(func() { l.Run(ctx) })
+	return nil
 }
--- /dev/null
+++ b/cmd/coralrelay/lists.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+	"coralrelay/internal/sabotage"
+	"coralrelay/internal/udp"
+)
+
+// fleet passes a list on: first the addresses, then the decision.
+type fleet struct {
+	hops  *nexthop.Hops
+	core  *decide.Core
+	udp   udp.Fronts    // nil where it is off
+	known chan struct{} // closed once discovery has said who is there
+	once  sync.Once
+}
+
+func (f *fleet) Listed(u roster.Update) {
+	if sabotage.On("drain") {
+		for i := range u.Entries {
+			if u.Entries[i].State == balance.Draining {
+				u.Entries[i].State = balance.Ready
+			}
+		}
+	}
+	if u.Kind != balance.ListFailed {
+		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
+	}
+	f.core.Listed(u.List())
+	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
+		f.once.Do(func() { close(f.known) })
+	}
+	if f.udp != nil {
+		f.udp.Look()
+	}
+}
--- /dev/null
+++ b/cmd/coralrelay/promises.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"time"
+
+	"coralrelay/internal/decide"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/operator"
+)
+
+// mostDone are the parts of time that wait for the agent to ask: more is too late for it.
+const mostDone = 2
+
+// promises counts response times by contract and region, for those who decide where
+// contracts go. What is below now belongs to the Core's goroutine.
+type promises struct {
+	core  *decide.Core
+	zones map[string]string // the region of each zone that is in one
+	now   func() time.Duration
+
+	tally *promise.Tally
+	at    map[string]string // next hops' regions
+	done  []promise.Sample
+	known uint64 // version of the contracts that count
+}
+
+// countPromises has the link tell what the node measures, where contracts are kept.
+func countPromises(l *link.Link, f operator.Fleet, core *decide.Core) {
+	if !f.Promises.Enabled {
+		return
+	}
+	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.Promises.Time(time.Duration(time.Now().UnixNano())) },
+		tally: promise.NewTally(f.Promises.Config(), f.Name, f.Zone, time.Now().UnixNano())}
+	for region, zones := range f.Zones.Regions {
+		for _, zone := range zones {
+			p.zones[zone] = region
+		}
+	}
+	core.Time(p.timed)
+	say, take := l.Say, l.Take
+	l.Say = func() link.Said { s := say(); p.say(&s); return s }
+	l.Take = func(t link.Told) { take(t); p.take(t.Promised) }
+}
+
+func (p *promises) timed(contract, server string, took time.Duration) {
+	if region, ok := p.at[server]; ok {
+		p.over(p.tally.Record(p.now(), contract, region, took))
+	}
+}
+
+func (p *promises) over(s *promise.Sample) {
+	if s == nil {
+		return
+	}
+	if len(p.done) == mostDone {
+		p.done = p.done[1:]
+	}
+	p.done = append(p.done, *s)
+}
+
+// say tells what was measured in the parts of time that are over.
+func (p *promises) say(s *link.Said) {
+	at := make(map[string]string, len(s.Servers))
+	for _, hop := range s.Servers {
+		if region, ok := p.zones[hop.Zone]; ok {
+			at[hop.ID] = region
+		} else if hop.Zone != "" {
+			at[hop.ID] = hop.Zone
+		}
+	}
+	p.core.Inside(func(time.Duration) {
+		p.at = at
+		p.over(p.tally.Turn(p.now()))
+		s.Samples, s.Contracts, p.done = p.done, p.known, nil
+	})
+}
+
+// take goes by other contracts from now on. Those on messages are not counted: the node
+// passes messages on without knowing which answers which.
+func (p *promises) take(told *link.Promised) {
+	if told == nil {
+		return
+	}
+	s := promise.State{Version: told.Version}
+	for _, c := range told.Contracts {
+		if !c.Messages {
+			s.Contracts = append(s.Contracts, promise.Contract{Name: c.Name, Priority: c.Priority})
+		}
+	}
+	p.core.Inside(func(time.Duration) {
+		p.tally.Know(s)
+		p.known = told.Version
+	})
+}
--- /dev/null
+++ b/cmd/coralrelay/pushed_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A node whose list is pushed has its watch from its first moment, and anew when one has
+// ended, also by the settings of a reload.
+func TestPushed(t *testing.T) {
+	calls, end := make(chan string, 8), make(chan bool)
+	discovery := listen(t, func(conn net.Conn) {
+		first := make([]byte, 256)
+		n, _ := conn.Read(first)
+		calls <- string(first[:n])
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n{\"generation\":5,\"reset\":true,\"instances\":[]}\n")
+		<-end
+	})
+	defer close(end)
+	addr, path := free(t), filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr, discovery, "", 1024)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("on_request", "pushed", `"nInstances":1`, `"nInstances":300`).Replace(string(raw))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	asked := func(from string) {
+		t.Helper()
+		select {
+		case call := <-calls:
+			if !strings.Contains(call, "watch=1&from="+from+" ") {
+				t.Fatalf("asked %q", call)
+			}
+		case <-time.After(patience):
+			t.Fatal("discovery is never asked")
+		}
+	}
+	p := startProcess(t, path, t.TempDir(), nil)
+	asked("0")
+	end <- true
+	asked("5")
+	p.signal(syscall.SIGHUP)
+	p.untilHas("balancer.cfg_accepted:1|c")
+	end <- true
+	asked("5")
+}
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -13,6 +13,7 @@
 	"coralrelay/internal/figures"
 	"coralrelay/internal/nexthop"
 	"coralrelay/internal/roster"
+	platform "coralrelay/internal/settings"
 )
 
 // live is the platform's configuration that is in force, and who goes by it.
@@ -65,6 +66,7 @@
 	if len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
+	next.Settings = platform.Watched(next.Settings)
 	next.Settings.Processes = c.Settings.Processes // not the file's to say
 	l.take(next)
 	l.core.Retune(next.Settings)
--- /dev/null
+++ b/cmd/coralrelay/routes_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agent"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/member"
+	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/share"
+)
+
+// writ is a record whose state the test sets.
+type writ struct{ view record.View }
+
+func (h *writ) View() record.View        { return h.view }
+func (h *writ) Changed() <-chan struct{} { return nil }
+func (h *writ) Leads() bool              { return false }
+func (h *writ) Propose(context.Context, entry.Entry) (o entry.Outcome, err error) {
+	return o, record.ErrUnknown
+}
+
+// asker is an item whose answer is one word.
+type asker struct {
+	decide.Request
+	core   *decide.Core
+	answer chan string
+}
+
+func (f *asker) Asked() *decide.Request { return &f.Request }
+func (f *asker) Move()                  {}
+func (f *asker) Fail() bool             { f.answer <- "failed"; return true }
+func (f *asker) Refuse(pause time.Duration) bool {
+	f.answer <- map[bool]string{true: "busy with a pause", false: "busy"}[pause > 0]
+	return true
+}
+
+// sound is next hops that are nearly empty and take all, and a roster that never answers.
+type sound struct{ core *decide.Core }
+
+func (s *sound) Subscribe() {}
+func (s *sound) Probe(server string) {
+	load := balance.NoLoad
+	load.X0, load.Inflight = 0.05, 1e5
+	go s.core.Probed(server, balance.OK, time.Millisecond, load)
+}
+func (s *sound) Start(x decide.Item, attempt int, server string, _ time.Time) {
+	go s.core.BranchUp(x, attempt, server, time.Millisecond)
+	x.(*asker).answer <- server
+}
+
+// A route bounds a tenant's transactions to its zone and to its limit, before the first list
+// and after it; what is over is answered at once with a pause, the next half has room again,
+// and others go where they would.
+func TestRoutesFromTheRecordToTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+		deal := account.DealConfig{Epoch: time.Second, Hold: 5 * time.Second}
+		tree := func(rate, open float64) *entry.State {
+			free := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1}
+			top := free
+			top.Rate, top.Open = rate, open
+			r := &account.Route{Name: "r", Owner: "acme", Match: account.Match{Tenant: "acme"}, Parts: []account.Part{{Zone: "b", Percent: 100}}, Limits: free}
+			return &entry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
+		}
+		log := &writ{view: record.View{State: tree(4, -1), Fresh: true, Heard: time.Now()}}
+		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
+			Member: member.NewAgent("n1", share.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, share.Guards{}, clock)})
+		go a.Run(ctx)
+
+		hops := &sound{}
+		core, err := decide.New(decide.NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
+			Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
+			Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
+			Limits:  balance.Limits{Probes: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, hops, hops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hops.core = core
+		node, err := newRoutes(core, deal)
+		if err != nil {
+			t.Fatal(err)
+		}
+		core.Router = node
+		go core.Run(ctx)
+
+		exchange := func() {
+			said := link.Said{Spending: core.Spending()}
+			node.say(&said)
+			raw, err := json.Marshal(said)
+			if err != nil {
+				t.Fatal(err)
+			}
+			heard := link.Said{}
+			if err := json.Unmarshal(raw, &heard); err != nil {
+				t.Fatal(err)
+			}
+			if raw, err = json.Marshal(a.Answer(heard)); err != nil {
+				t.Fatal(err)
+			}
+			told := link.Told{}
+			if err := json.Unmarshal(raw, &told); err != nil {
+				t.Fatal(err)
+			}
+			node.take(&told)
+		}
+		number, standing := 0, []*asker{}
+		open := func(tenant string, n int) string {
+			got := map[string]int{}
+			for range n {
+				number++
+				f := &asker{Request: decide.Request{ID: fmt.Sprint(number), Class: "feed", Tenant: tenant, Deadline: time.Now().Add(time.Second)}, core: core, answer: make(chan string, 1)}
+				began := time.Now()
+				core.Submit(f, hops)
+				word := <-f.answer
+				if took := time.Since(began); took > 0 {
+					word += fmt.Sprint(" after ", took)
+				}
+				if got[word]++; word == "b1" || word == "a1" {
+					standing = append(standing, f)
+				}
+			}
+			words := ""
+			for _, word := range slices.Sorted(maps.Keys(got)) {
+				words += fmt.Sprintf("%d %s, ", got[word], word)
+			}
+			return words
+		}
+		pass := func(d time.Duration) {
+			time.Sleep(d)
+			log.view.Heard = time.Now()
+			synctest.Wait()
+			exchange()
+			exchange()
+		}
+		expect := func(what, got, want string) {
+			if t.Helper(); got != want {
+				t.Errorf("%s: %s want %s", what, got, want)
+			}
+		}
+
+		log.view.State = tree(0, -1)
+		pass(150 * time.Millisecond)
+		expect("before the list, no room", open("acme", 1), "1 busy with a pause, ")
+		core.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{{ID: "a1", Zone: "a"}, {ID: "b1", Zone: "b"}}})
+		log.view.State = tree(4, -1)
+		pass(850 * time.Millisecond) // to the next epoch: four tokens
+		expect("first half", open("acme", 6), "4 b1, 2 busy with a pause, ")
+		if got := open("", 20); got == "20 b1, " || got == "20 a1, " {
+			t.Errorf("others are bound too: %s", got)
+		}
+		pass(500 * time.Millisecond)
+		expect("second half, all is spent", open("acme", 2), "2 busy with a pause, ")
+		pass(500 * time.Millisecond)
+		expect("next epoch", open("acme", 2), "2 b1, ")
+		pass(500 * time.Millisecond)
+		expect("what was left, again", open("acme", 3), "2 b1, 1 busy with a pause, ")
+		log.view.State = tree(-1, 9) // eight stand
+		pass(500 * time.Millisecond)
+		expect("standing", open("acme", 3), "1 b1, 2 busy with a pause, ")
+		for _, f := range standing {
+			core.Ended(f, balance.OK)
+		}
+		synctest.Wait()
+		expect("they have ended", open("acme", 10), "9 b1, 1 busy with a pause, ")
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/cmd/coralrelay/serve.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/beside"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/config"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/figures"
+	"coralrelay/internal/handover"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/operator"
+	"coralrelay/internal/roster"
+	platform "coralrelay/internal/settings"
+)
+
+const (
+	// spareSockets are kept for the listener, discovery, probes and callers
+	// that are given a busy answer.
+	spareSockets = 128
+	// leastSockets are the line path's, whatever is taken for others.
+	leastSockets = 64
+	// probeWait is how long a probe may take: longer than a busy next hop
+	// needs, shorter than the module waits before it asks again.
+	probeWait = 500 * time.Millisecond
+	// refused is the pause of callers that are refused unseen: while the node
+	// drains the front still sends some here for 0.4 s.
+	refused = 500 * time.Millisecond
+	// longestDrain and afterDrain: a planned restart leaves the longest
+	// deadline, at most longestDrain, and 0.7 s. What stays of that is room.
+	longestDrain = 3 * time.Second
+	afterDrain   = 400 * time.Millisecond
+)
+
+// serve runs the node until terminate ends, and then lets it end in good order.
+// On each hang-up the configuration is read again, also while the node ends.
+func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operator.File, path string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	var place *beside.Place
+	defer func() { place.Close() }() // when all is over: the process beside this one goes by it
+	defer parts.Wait()
+	defer cancel()
+
+	listener, err := clientsListener(c)
+	if err != nil {
+		return err
+	}
+	if place, err = takePlace(c, listener, own); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	c.Settings = platform.Watched(c.Settings)
+	// A node's start is one of many, a successor's its own.
+	c.Settings.AskNow = c.Settings.AskNow || place.Lives()
+	hops := nexthop.New(ctx, hopLimits(c.Settings))
+	lists := &fleet{hops: hops, known: make(chan struct{})}
+	watch := roster.New(c.Discovery, lists)
+	core, err := decide.New(decide.NewClock(), c.Seed, c.Settings, hops, watch)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	lists.core = core
+	hops.Watch(core)
+	if lists.udp, err = startUDP(ctx, &parts, c, own.UDP, core, hops); err != nil {
+		return err
+	}
+	sockets := c.Limits.Sockets
+	if lists.udp != nil {
+		sockets = max(sockets-own.UDP.Sockets, leastSockets)
+	}
+	spare := min(spareSockets, sockets/4)
+	if c.Mgmt != "" {
+		spare = max(spare, besideSockets) // operators are answered however many callers there are
+	}
+	limits := caller.Limits{Sockets: sockets - spare, Pause: pause(c.Settings.Limits)}
+	other := &neighbour{place: place}
+	if place != nil {
+		limits.Elsewhere = other.elsewhere
+	}
+	server := caller.New(core, hops, limits)
+	book := &figures.Book{}
+	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
+	inForce.take(c)
+	server.Figures = book
+	if place != nil {
+		parts.Go(func() { other.watch(ctx, c.Limits, server.Sockets, inForce.beside) })
+	}
+	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
+	if err != nil {
+		return err
+	}
+	if resume != nil {
+		server.Continuities = resume.sessions
+	}
+	if err := startMgmt(ctx, &parts, c.Mgmt, operations{server, hops, core, book}); err != nil {
+		return err
+	}
+	if err := startFleet(ctx, &parts, own.Fleet, core); err != nil {
+		return err
+	}
+	parts.Go(func() { core.Run(ctx) })
+	parts.Go(func() { watch.Run(ctx, c.Known) })
+	parts.Go(func() {
+		own := own // what is in force, which differs from the start's
+		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
+	})
+	if place != nil {
+		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
+			slog.Warn("a process before this one can't hand over what stands", "err", err)
+		}
+	}
+	if place.Lives() { // who serves meanwhile; alone, clients would wait
+		awaitList(terminate, lists.known)
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
+
+	<-terminate.Done()
+	resume.leave()
+	leave(server, core, listener, place, min(inForce.longest(), longestDrain))
+	err = <-served
+	server.Close()
+	return err
+}
+
+// leave empties the node for good, within the longest deadline and a little more.
+func leave(server *caller.Server, core *decide.Core, listener net.Listener, place *beside.Place, longest time.Duration) {
+	begun := time.Now()
+	succeeded := place.Lives()
+	slog.Info("draining", "longest", longest, "successor", succeeded)
+	plan := caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + afterDrain/2), End: begun.Add(longest + afterDrain)}
+	if succeeded { // who connects from now on is the successor's, who was accepted before is served
+		_ = listener.Close()
+		plan.Refuse, plan.From = plan.End, begun
+		if g := heir(place); g != nil {
+			g.Tell(core.Recall())
+			plan.Heir = g
+			defer g.Close()
+		}
+	}
+	server.Drain(plan)
+	_ = listener.Close()
+	slog.Info("drained", "took", time.Since(begun))
+}
+
+// pause is asked of callers that are refused unseen, where the settings allow it.
+func pause(l balance.Limits) time.Duration {
+	if !l.RetryAfter {
+		return 0
+	}
+	return min(refused, l.MaxRetryAfter)
+}
+
+// limit keeps the process within its machine.
+func limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	debug.SetMemoryLimit(heap(l))
+}
+
+// heap is what of the memory the heap may take. The rest is for stacks' growth, the
+// kernel's share and the binary.
+func heap(l config.Limits) int64 { return int64(l.MemoryMB) << 20 * 3 / 4 }
--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -60,4 +60,64 @@
 	fresh:    "3s"     // accusations and counts of retries count for so long
 	retries:  0.2      // allowed for each first try, by all nodes together
 	shun:     0.25     // of the next hops, at most, by verdict
+	zone:     ""       // "a": where this member stands
+
+	// The log that all members hold alike: docs/operate/record.md.
+	record: {
+		dir:       "" // "/var/lib/coralfleet": this member's own
+		bind:      "" // "10.0.0.4:7373", TCP
+		advertise: "" // where the others reach it, if elsewhere
+		voters: [] // 3 or 5, the same everywhere: [{name: "n1", addr: "10.0.0.4:7373", zone: "a"}, ...]
+		lease: "2s" // who has heard from nobody for so long acts on its own
+		root:  ""   // public key of who may found accounts, from 'coralctl account key'
+	}
+
+	// The limits of accounts: docs/operate/accounts.md.
+	accounts: {
+		members: 0 // when all are well: who sees half of them or fewer keeps to its even part
+	}
+
+	// Leaving zones that fail, and returning, as a fleet: docs/operate/zones.md.
+	zones: {
+		enabled: false
+		regions: {} // {north: ["a", "b"]}: left and returned to as one
+		zones: [] // where given, the record takes no other
+		fresh:    "1s"    // a member's word counts for so long
+		skew:     "200ms" // by which members' clocks may differ
+		confirm:  "200ms" // a failure must be seen for so long
+		settle:   "500ms" // from leaving to left
+		steady:   "2s"    // good evidence before each step of a return
+		gap:      "5s"    // between two changes of one share
+		hold:     "5s"    // a zone that fails again is held so long, then twice as long
+		holdMost: "5m"
+		quiet:    "10m" // then its failures are forgotten
+		ramp:     "10s" // a cold next hop is warm after this, as the settings' ramp
+		enough:   2     // asked by a member before its word counts
+		lost:     0.9   // bad share of its next hops from which on a zone serves nobody
+		most:     0.7   // of all zones, left at most
+		high:     0.85  // load up to which the zones that stay are filled
+		cold:     0.3   // of its capacity that a next hop can do as it starts
+		multiple: 3     // of a cold next hop's capacity beyond which it falls over
+		bears:    10    // set-ups a second, a warm next hop
+		store:    0     // set-ups a second, the session store; 0 for no bound
+		steps: [0.05, 0.15, 0.35, 0.7] // of a return
+	}
+	// Keeping contracts on response times: docs/operate/promises.md.
+	promises: {
+		enabled: false // needs a record
+		part:     "5s"  // is told and judged as one
+		parts:    6     // that are evidence
+		late:     "5s"  // samples are waited for
+		cells:    1024  // told of a part
+		z:        2     // standard deviations of a verdict
+		need:     100   // times that make a region measured
+		period:   "30s" // between two steps
+		step:     0.1   // of a contract, in a period
+		inflow:   0.05  // of what a region bears, in a period
+		fill:     0.85  // of what a region bears
+		patience: "20s" // before a region is left
+		margin:   0.25  // of the allowed misses, free where one moves to
+		explore:  0.02  // of a contract
+		pace:     1     // for rehearsals
+	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -169,7 +169,7 @@
 
 // open runs a transaction to its end.
 func (s *Server) open(l *leg.Leg, place *list.Element, o line.Open) {
-	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, At: o.At,
+	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Realm, At: o.At,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(min(o.Wait, longestWait) - margin)},
 		&o, line.Front{}, s.decider, l)
 	if s.Continuities != nil && o.Resume != "" {
--- /dev/null
+++ b/internal/decide/branches.go
@@ -0,0 +1,77 @@
+package decide
+
+// What becomes of the branches that the module has asked for.
+
+import (
+	"time"
+
+	"coralrelay/balance"
+)
+
+// homeAgain is the pause before a next hop is offered once more what it held.
+const homeAgain = 100 * time.Millisecond
+
+// BranchUp is told when a branch is up, and what it carries is the front's.
+func (c *Core) BranchUp(item Item, attempt int, server string, latency time.Duration) {
+	c.post(func() {
+		e := c.known(item)
+		if e == nil {
+			return
+		}
+		e.open = true
+		if e.asked.At != "" {
+			c.handle(balance.OpenConn{Request: c.request(e), Server: server})
+		} else {
+			c.timed(e, server, balance.OK, latency)
+			c.handle(balance.Started{ID: e.asked.ID, Attempt: attempt, Server: server, Latency: latency})
+		}
+		if e.early != nil {
+			e.early()
+		}
+	})
+}
+
+// BranchEnded is told when a branch has ended without coming up. Its socket is
+// closed by then.
+func (c *Core) BranchEnded(item Item, attempt int, server string, outcome balance.Outcome,
+	latency time.Duration, load balance.Load) {
+	c.post(func() {
+		e := c.known(item)
+		switch {
+		case e == nil:
+		case e.asked.At != "":
+			c.backHome(e, server, outcome)
+		default:
+			c.timed(e, server, outcome, latency)
+			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: attempt, Server: server, Outcome: outcome,
+				Latency: latency, Load: load})
+		}
+	})
+}
+
+// backHome goes on with a transaction whose next hop holds it already and did
+// not take it back. There is nothing to decide, and the module never heard of
+// it: it is offered again while that is harmless and there is time, as the node
+// may know its next hop only a moment later, or too many came home at once. Once the
+// roster has answered and doesn't name it, nobody can take it back.
+func (c *Core) backHome(e *entry, server string, outcome balance.Outcome) {
+	next := time.Now().Add(homeAgain)
+	gone := c.listed != nil && !c.listed[server]
+	if gone || outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
+		c.drop(e.asked.ID)
+		e.item.Fail()
+		return
+	}
+	c.timers.set(next, func() {
+		if c.known(e.item) == e {
+			e.branches.Start(e.item, 0, server, e.asked.Deadline)
+		}
+	})
+}
+
+// Probed is told a probe's result.
+func (c *Core) Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load) {
+	c.post(func() {
+		c.handle(balance.ProbeAnswer{Server: server, Outcome: outcome, Latency: latency, Load: load})
+	})
+}
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -119,6 +119,15 @@
 	}
 }
 
+// A bound that leaves no next hop is the module's to answer, at once.
+func TestBoundReachesTheModule(t *testing.T) {
+	c, p := start(t)
+	wait(t, submit(c, p, Request{ID: "a", Bound: &balance.Bound{Zones: []balance.ZonePart{{Zone: "far", Share: 1}}}}).done)
+	if len(p.probed) > 0 {
+		t.Error("a next hop was drawn")
+	}
+}
+
 // A second transaction of an id in use is failed, and the first goes on.
 func TestIDInUse(t *testing.T) {
 	c, p := start(t)
--- /dev/null
+++ b/internal/decide/items.go
@@ -0,0 +1,130 @@
+package decide
+
+// How a front's items reach the module, and how they end.
+
+import (
+	"time"
+
+	"coralrelay/balance"
+)
+
+// Request is what a front tells of an item when it brings it.
+type Request struct {
+	ID, Class, Key, Group string
+	Tenant                string // whose client it is; empty where nobody says
+	At                    string // the next hop that already holds it; empty if none
+	Hint                  float64
+	Retry, Returned       bool
+	Bound                 *balance.Bound // where it may be drawn; nil for anywhere
+	Deadline              time.Time      // the final answer must be out by then
+}
+
+// Item is what is placed: a line transaction, a flow, a question of another proxy.
+// It is compared by identity, so it has to be a pointer. Its methods return at once
+// and may be called at any time; of Refuse, Fail and the front's own way to say that
+// it is up, the first counts, and is the one final answer.
+type Item interface {
+	Asked() *Request // does not change
+	Refuse(pause time.Duration) bool
+	Fail() bool
+	Move() // asks what stands to go elsewhere; before that it does nothing
+}
+
+// Branches makes the attempts of one front's items. Start returns at once; what
+// becomes of the attempt is told to the Core by BranchUp or BranchEnded, once.
+type Branches interface {
+	Start(item Item, attempt int, server string, deadline time.Time)
+}
+
+// Submit takes an item, which is then owed one final answer; its attempts are made
+// by b.
+func (c *Core) Submit(item Item, b Branches) {
+	c.post(func() {
+		r := item.Asked()
+		if c.transactions[r.ID] != nil || !c.classes[r.Class] {
+			// Ids are new for each connection: a second one would mix up two
+			// transactions in the module. A class that the settings don't name
+			// comes from nobody who may be served.
+			c.bad.Warn("transaction rejected: id in use or class unknown", "id", r.ID, "class", r.Class)
+			item.Fail()
+			return
+		}
+		e := &entry{item: item, asked: r, branches: b}
+		c.transactions[r.ID] = e
+		if r.At != "" {
+			// It runs at that next hop already: there is nothing to decide, and
+			// the module hears of it when it is up.
+			e.server, e.attempts = r.At, 1
+			c.adopted(e)
+			b.Start(item, 0, r.At, r.Deadline)
+			return
+		}
+		c.admit(e)
+	})
+}
+
+func (c *Core) request(e *entry) balance.Request {
+	r, bound := e.asked, e.asked.Bound
+	if e.bound != nil {
+		bound = e.bound
+	}
+	return balance.Request{ID: r.ID, Class: r.Class, Group: r.Group, Hint: r.Hint,
+		Retry: r.Retry, Returned: r.Returned, Deadline: c.clock.At(r.Deadline), Bound: bound}
+}
+
+// CallerGone is told when a caller has left before its answer, or was turned away.
+func (c *Core) CallerGone(item Item) {
+	c.post(func() {
+		if e := c.known(item); e != nil {
+			c.drop(e.asked.ID)
+			c.handle(balance.ClientGone{ID: e.asked.ID})
+		}
+	})
+}
+
+// Ended is told when what stood has ended: OK if it was served to its end, Reset if
+// its next hop broke off or fell silent, else Cancelled.
+func (c *Core) Ended(item Item, outcome balance.Outcome) {
+	c.post(func() {
+		e := c.known(item)
+		if e == nil {
+			return
+		}
+		end := func() {
+			c.drop(e.asked.ID)
+			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: e.attempts - 1, Server: e.server,
+				Outcome: outcome, Final: true, Load: balance.NoLoad})
+		}
+		if !e.open {
+			// A front may have what stands as soon as its next hop says so: it may
+			// end before the branch has said that it stood.
+			e.early = end
+			return
+		}
+		end()
+	})
+}
+
+// Adopt takes an item that stands at a server already, and tells whether it does: not
+// if its id is in use here.
+func (c *Core) Adopt(item Item, server string) bool {
+	taken := make(chan bool, 1)
+	c.post(func() {
+		r := item.Asked()
+		if c.transactions[r.ID] != nil {
+			taken <- false
+			return
+		}
+		e := &entry{item: item, asked: r, server: server, attempts: 1, open: true}
+		c.transactions[r.ID] = e
+		c.adopted(e)
+		c.handle(balance.OpenConn{Request: c.request(e), Server: server})
+		taken <- true
+	})
+	select {
+	case yes := <-taken:
+		return yes
+	case <-c.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/decide/module.go
@@ -0,0 +1,45 @@
+package decide
+
+// What is told to the module and asked of it besides items and next hops.
+
+import (
+	"time"
+
+	"coralrelay/balance"
+)
+
+// Retune goes on by other settings, which Settings.Check has passed.
+func (c *Core) Retune(set balance.Settings) {
+	c.post(func() {
+		c.classes = names(set.Classes)
+		c.handle(balance.Retuned{Settings: set})
+	})
+}
+
+// Avoided is how many of the listed next hops the module avoided a moment ago. It
+// waits for nobody.
+func (c *Core) Avoided() int { return int(c.avoided.Load()) }
+
+// Recall is what the module has learned, and Learn tells it what another process's has.
+func (c *Core) Recall() balance.Memory { return ask(c, c.balancer.Recall) }
+
+// Spending is what the module has spent of the fleet's budgets, and Grant tells it what it
+// may spend.
+func (c *Core) Spending() balance.Spending { return ask(c, c.balancer.Spending) }
+
+func (c *Core) Grant(g balance.Granted) { c.post(func() { c.handle(g) }) }
+
+// ask puts a question to the module; the answer is empty once the Core has ended.
+func ask[T any](c *Core, question func(now time.Duration) T) (answer T) {
+	told := make(chan T, 1)
+	c.post(func() { told <- question(c.clock.At(time.Now())) })
+	select {
+	case answer = <-told:
+	case <-c.done:
+	}
+	return answer
+}
+
+func (c *Core) Learn(m balance.Memory) {
+	c.post(func() { c.handle(balance.Learned{Memory: m}) })
+}
--- /dev/null
+++ b/internal/decide/route.go
@@ -0,0 +1,65 @@
+package decide
+
+// How operators' routes bound items. Which route, and whether there is room on it, is the
+// Router's word; the module draws within it, or refuses.
+
+import (
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/route"
+)
+
+// Router knows the routes, and counts items on them. Its methods are called on the Core's
+// goroutine, and return at once.
+type Router interface {
+	// Admit returns the route that an item counts on from now on, nil for none, and where
+	// it may be drawn; nil for anywhere. The bound of one that there is no room for allows
+	// nothing.
+	Admit(r *Request) (*route.Route, *balance.Bound)
+	// Adopt is Admit for what stands already.
+	Adopt(r *Request) (*route.Route, *balance.Bound)
+	// Spent counts attempts beyond an item's first, and probes made for it.
+	Spent(r *route.Route, again, probes int)
+	// Closed is told once of each that was admitted or adopted onto a route.
+	Closed(r *route.Route)
+}
+
+// admit hands a new item to the module. Probes that answer it are for it; of later ones the
+// module does not say for whom they are.
+func (c *Core) admit(e *entry) {
+	if c.Router == nil {
+		c.handle(c.request(e))
+		return
+	}
+	e.route, e.bound = c.Router.Admit(e.asked)
+	on := e.route // which the answer may drop already
+	c.handle(c.request(e))
+	if on == nil {
+		return
+	}
+	probes := 0
+	for _, a := range c.actions {
+		if _, ok := a.(balance.Probe); ok {
+			probes++
+		}
+	}
+	if probes > 0 {
+		c.Router.Spent(on, 0, probes)
+	}
+}
+
+func (c *Core) adopted(e *entry) {
+	if c.Router != nil {
+		e.route, e.bound = c.Router.Adopt(e.asked)
+	}
+}
+
+// Inside runs f on the Core's goroutine, with the module's time, and waits for it; it does
+// not run once the Core has ended.
+func (c *Core) Inside(f func(now time.Duration)) {
+	ask(c, func(now time.Duration) struct{} { f(now); return struct{}{} })
+}
+
+// Now is the module's time. It is for the Router.
+func (c *Core) Now() time.Duration { return c.clock.At(time.Now()) }
--- /dev/null
+++ b/internal/fleet/account/routes.go
@@ -0,0 +1,134 @@
+package account
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Rank is how specific a match is: the first match among routes by falling rank is the one
+// that counts. What a match names decides, in this order: class, tenant, one group, a range
+// of the group's hash, returned, retry. Two of one rank name the same fields.
+func (m *Match) Rank() int {
+	rank := 0
+	for i, named := range [6]bool{m.Class != "", m.Tenant != "", m.Group != "", m.ranged(), m.Returned != nil, m.Retry != nil} {
+		if named {
+			rank |= 1 << (5 - i)
+		}
+	}
+	return rank
+}
+
+func (m *Match) ranged() bool { return m.From != 0 || m.To != 0 }
+
+// named is all that a match names but the range.
+type named struct {
+	rank                 int
+	class, tenant, group string
+	returned, retry      bool
+}
+
+func (m *Match) named() named {
+	return named{m.Rank(), m.Class, m.Tenant, m.Group, m.Returned != nil && *m.Returned, m.Retry != nil && *m.Retry}
+}
+
+// Ties tells whether a transaction can be that two matches of one rank both take.
+func (m *Match) Ties(o *Match) bool {
+	return m.named() == o.named() && (!m.ranged() || m.From < o.To && o.From < m.To)
+}
+
+func (m *Match) check() error {
+	switch {
+	case len(m.Class) > 64 || len(m.Tenant) > 255 || len(m.Group) > 1024:
+		return errors.New("class, tenant or group is longer than 64, 255 or 1024 bytes")
+	case m.ranged() && !(m.From >= 0 && m.From < m.To && m.To <= 1):
+		return fmt.Errorf("range %v to %v: want 0 <= from < to <= 1", m.From, m.To)
+	case m.ranged() && m.Group != "":
+		return errors.New("a group and a range: want one of them")
+	}
+	return nil
+}
+
+func (d *draft) putRoute(op *Op) error {
+	if op.Route == nil {
+		return errors.New("route: missing")
+	}
+	r := *op.Route
+	switch {
+	case d.Nodes[op.Path] == nil:
+		return errors.New("no such account or team")
+	case r.Owner != "" && r.Owner != op.Path:
+		return fmt.Errorf("owner %.80q: the operation is on %q", r.Owner, op.Path)
+	case !goodName(r.Name):
+		return fmt.Errorf("route name %.40q: want a-z, 0-9, '-', '_' and '.', %d letters at most", r.Name, mostName)
+	}
+	if err := d.may(d.key, ActRoutes, op.Path); err != nil {
+		return err
+	}
+	if err := r.check(); err != nil {
+		return fmt.Errorf("route %q: %w", r.Name, err)
+	}
+	r.Owner, r.Version = op.Path, d.Version
+	if d.Routes[r.Path()] == nil && len(d.Routes) >= mostRoutes {
+		return fmt.Errorf("%d routes, no more are kept", mostRoutes)
+	}
+	if err := d.routeScope(&r); err != nil {
+		return err
+	}
+	d.Routes[r.Path()], d.put[r.Path()] = &r, &r
+	d.touch(op.Path)
+	return nil
+}
+
+func (r *Route) check() error {
+	if err := r.Match.check(); err != nil {
+		return err
+	}
+	if err := r.Limits.check(); err != nil {
+		return err
+	}
+	if len(r.Contract) > 64 {
+		return errors.New("contract: longer than 64 bytes")
+	}
+	sum, seen := int64(0), map[string]bool{}
+	for _, p := range r.Parts {
+		if p.Zone == "" || len(p.Zone) > 64 || seen[p.Zone] || !(p.Percent >= 0 && p.Percent <= 100) {
+			return fmt.Errorf("part %.64q, %v %%: want zones once each, 0 to 100 %%", p.Zone, p.Percent)
+		}
+		seen[p.Zone] = true
+		sum += int64(math.Round(p.Percent * thousand))
+	}
+	if len(r.Parts) > mostParts || len(r.Parts) > 0 && sum != 100*thousand {
+		return fmt.Errorf("%d parts of %v %% in all: want at most %d, 100 %% in all", len(r.Parts), float64(sum)/thousand, mostParts)
+	}
+	return nil
+}
+
+func (d *draft) dropRoute(op *Op) error {
+	path := op.Path + ":" + op.Name
+	if d.Routes[path] == nil {
+		return fmt.Errorf("no route %.40q", op.Name)
+	}
+	if err := d.may(d.key, ActRoutes, op.Path); err != nil {
+		return err
+	}
+	delete(d.Routes, path)
+	delete(d.put, path)
+	d.lost(op.Path)
+	return nil
+}
+
+// ties refuses a route that takes what another of the same rank takes, whosever that is:
+// which of the two counts would be chance.
+func (s State) ties(r *Route) error {
+	with := ""
+	for path, o := range s.Routes {
+		if path != r.Path() && o.Match.Ties(&r.Match) && (with == "" || path < with) {
+			with = path
+		}
+	}
+	if with != "" {
+		return fmt.Errorf("route %q: ties with route %q, which takes the same and is as specific", r.Path(), with)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/agent/accounts_test.go
@@ -0,0 +1,152 @@
+package agent
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/member"
+	"coralrelay/internal/fleet/record"
+)
+
+// rootKey may found accounts in the world's record.
+var rootKey = ed25519.NewKeyFromSeed([]byte("the root of the tests' own fleet"))
+
+// signed is an operator's entry with a body, as text.
+func signed(kind entry.Kind, body string) string {
+	e := entry.Entry{Kind: kind, At: 1, Why: "a test", Body: json.RawMessage(body), Key: account.KeyName(rootKey.Public().(ed25519.PublicKey))}
+	e.Sig = ed25519.Sign(rootKey, e.Signed())
+	raw, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	return string(raw)
+}
+
+// Postures and allocations never come by the port, signed or not, and nothing that is not
+// signed.
+func TestWhatIsTheFleetsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, t.Context())
+		for _, tt := range []struct{ entry, want string }{
+			{`{"kind":"zones","by":"","at":1,"body":{"base":0,"set":[],"zones":["a"]}}`, "postures"},
+			{signed(entry.Zones, `{"base":0,"set":[],"zones":["a"]}`), "postures"},
+			{signed(entry.Contracts, `{"base":0,"steer":[{"contract":"gold","shares":{"a":1}}]}`), "allocations"},
+			{signed(entry.Contracts, `{"base":0,"steal":[]}`), "steal"},
+			{`{"kind":"contracts","by":"","at":1,"body":{"base":0}}`, "not signed"},
+			{`{"kind":"accounts","by":"","at":1,"body":{"base":0}}`, "not signed"},
+		} {
+			for _, ask := range []string{"check", "propose"} {
+				answer, err := w.agent.Operator(t.Context(), link.Ask{Ask: ask, Entry: json.RawMessage(tt.entry)})
+				if err == nil || !strings.Contains(err.Error(), tt.want) {
+					t.Errorf("%s %s: %v, %v", ask, tt.entry, answer, err)
+				}
+			}
+		}
+		if i := w.ledger.View().State.Index; i != 0 {
+			t.Errorf("the record is at %d", i)
+		}
+	})
+}
+
+// A team asks for more than its account has, an account is cut, and the node hears of what
+// was taken, and only of that.
+func TestRefusedForTheParentsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, ctx)
+		w.ledger.change(func(v *record.View) { v.Fresh, v.Heard = true, time.Now() })
+		done := make(chan struct{})
+		go func() { defer close(done); w.agent.Run(ctx) }()
+		said := link.Said{}
+		var gathered link.Gathering
+		node := func() {
+			time.Sleep(150 * time.Millisecond)
+			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
+				for i := range 5 {
+					w.agent.Member.Hear(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
+				}
+			}
+			gathered.Say(&said)
+			raw, err := json.Marshal(said)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answer, err := w.node.ask(string(raw))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var told link.Told
+			if err := json.Unmarshal([]byte(answer), &told); err != nil {
+				t.Fatal(err)
+			}
+			if wire, ok := gathered.Table(&told); ok {
+				raw, _ := json.Marshal(wire.Set)
+				w.write("agent", "to its node: whole %v, routes %s, gone %v", wire.Whole, raw, wire.Gone)
+				said.Table = wire.Index
+			}
+			if r, ok := gathered.Rights(&told); ok {
+				raw, _ := json.Marshal(r.Paths)
+				w.write("agent", "to its node: rights of half %d %s", r.Half%2, raw)
+			}
+		}
+		const route = `"limits":{"open":-1,"rate":%d,"retries":-1,"probes":-1}`
+		const limits = `"limits":{"open":-1,"rate":%d,"retries":-1,"probes":-1,"routes":%d,"teams":%[2]d}`
+		for _, op := range []string{
+			fmt.Sprintf(`{"do":"found","path":"acme","node":{`+limits+`}}`, 100, 8),
+			fmt.Sprintf(`{"do":"team","path":"acme/web","node":{`+limits+`}}`, 60, 3),
+			fmt.Sprintf(`{"do":"team","path":"acme/shop","node":{`+limits+`}}`, 50, 3),
+			fmt.Sprintf(`{"do":"team","path":"acme/shop","node":{`+limits+`}}`, 40, 3),
+			fmt.Sprintf(`{"do":"route","path":"acme/web","route":{"name":"r","owner":"acme/web","match":{"tenant":"acme"},"parts":[{"zone":"b","percent":100}],`+route+`}}`, 60),
+			fmt.Sprintf(`{"do":"limits","path":"acme","was":1,"node":{`+limits+`}}`, 30, 8),
+			fmt.Sprintf(`{"do":"limits","path":"acme","was":1,"shrink":"proportion","node":{`+limits+`}}`, 30, 8),
+			`{"do":"no-route","path":"acme/web","name":"r"}`,
+		} {
+			body := fmt.Sprintf(`{"base":%d,"ops":[%s]}`, w.ledger.View().State.Accounts.Version, op)
+			w.write("operator", "proposes, signed by the root: %s", body)
+			c := newTalk(w.dial())
+			answer, err := c.ask(`{"ask":"propose","entry":` + signed(entry.Accounts, body) + `}`)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.conn.Close()
+			w.write("agent", "%s", strings.TrimSpace(answer))
+			node()
+		}
+		goldie.New(t).Assert(t, "accounts", w.out.Bytes())
+		cancel()
+		<-done
+	})
+}
+
+// What a word that was cut does not name counts as used as much as the most of what was left
+// out; nobody's limits that need no reckoning are filled in, and others' words stay whole.
+func TestCutWords(t *testing.T) {
+	free := account.Limits{Open: 5, Rate: -1, Retries: -1, Probes: -1}
+	s := &entry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
+	word := func(half int64, rest float64) member.Use {
+		return member.Use{Use: account.Use{Member: "n", Half: half, Prior: map[string]account.Figures{"x": {Rate: 9}}}, Rest: account.Figures{Rate: rest}}
+	}
+	for _, tt := range []struct {
+		use  member.Use
+		want map[string]account.Figures
+	}{
+		{word(7, 2), map[string]account.Figures{"x": {Rate: 9}, "z": {Rate: 2}}},
+		{word(7, 0), map[string]account.Figures{"x": {Rate: 9}}},
+		{word(5, 2), map[string]account.Figures{"x": {Rate: 9}}},
+	} {
+		if got := whole([]member.Use{tt.use}, s, 7)[0].Prior; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/agent.go
@@ -0,0 +1,169 @@
+// Package agent holds the parts of the fleet's agent together: gossip, the record beside
+// it, the decider that turns what members saw into changes of the record, and what the node
+// and operators are answered. Without a record the rest goes on.
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/member"
+	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/zone"
+)
+
+// every is how often evidence is looked at. A change of the record is heard at once.
+const every = 100 * time.Millisecond
+
+// Record is what an agent asks of package record.
+type Record interface {
+	View() record.View
+	Changed() <-chan struct{}
+	Propose(context.Context, entry.Entry) (entry.Outcome, error)
+	Leads() bool
+}
+
+// Options say what an agent is made of.
+type Options struct {
+	Name, Zone string
+	Member     *member.Agent
+	Record     Record        // nil for none
+	Why        string        // there is none: off, or what is wrong
+	Zones      *zone.Config  // nil where zones are not left
+	Lease      time.Duration // the record's
+	Offset     time.Duration // of the agent's clock over the machine's, for rehearsals
+	Clock      func() time.Duration
+	Together   bool // a guard taken out: decide alone though the record is heard
+	Guards     zone.Guards
+	Promises   *Promises           // nil where contracts are not kept
+	Accounts   *account.DealConfig // nil where routes and limits are not told
+}
+
+// Agent answers a node and operators: it is a link.Agent.
+type Agent struct {
+	Options
+	began   time.Duration
+	alone   *zone.Alone
+	watch   *zone.Watch
+	deaf    bool          // it was said that the record is not heard
+	out     chan struct{} // holds one while a proposal is under way
+	keeping *keeping      // nil without promises
+	tables  tables
+	dealing dealing
+
+	mu    sync.Mutex
+	given member.Decided
+}
+
+// New returns an agent that Run has to keep.
+func New(o Options) *Agent {
+	a := &Agent{Options: o, began: o.Clock(), out: make(chan struct{}, 1)}
+	if o.Zones != nil {
+		a.alone, a.watch = zone.NewAlone(*o.Zones), zone.NewWatch(*o.Zones)
+		a.alone.Ignore, a.watch.Ignore = o.Guards, o.Guards
+	}
+	if o.Accounts != nil {
+		a.dealing.cfg = *o.Accounts
+	}
+	if o.Promises != nil {
+		a.keeping = newKeeping(o)
+	}
+	return a
+}
+
+// Run decides until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	var proposals sync.WaitGroup
+	defer proposals.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a.keeping.run(ctx, &proposals)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		var changed <-chan struct{}
+		if a.Record != nil {
+			changed = a.Record.Changed()
+		}
+		a.step(ctx, &proposals)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-changed:
+		}
+	}
+}
+
+// step looks at the record and at what was seen, once.
+func (a *Agent) step(ctx context.Context, proposals *sync.WaitGroup) {
+	now := a.Clock()
+	var v record.View
+	if a.Record != nil {
+		v = a.Record.View()
+	}
+	var d member.Decided
+	var state zone.State
+	if v.State != nil {
+		d.Index, state = v.State.Index, v.State.Zones
+	}
+	heard := a.hears(now, v) && !a.Together
+	switch {
+	case a.Zones == nil:
+	case heard:
+		d.Bounds, d.Over = state.Bounds(a.Zone), state.Over
+	default:
+		d.Bounds, d.Over = a.alone.Step(now, state, a.Member.Own()), state.Over
+	}
+	a.Member.Decide(d)
+	a.mu.Lock()
+	a.given = d
+	a.mu.Unlock()
+	if a.Zones != nil && a.Record != nil && a.Record.Leads() {
+		a.lead(ctx, now, state, proposals)
+	}
+	if a.Accounts != nil {
+		a.tables.renew(now, v.State)
+	}
+	a.keep(ctx, now, v, a.Record != nil && a.Record.Leads(), proposals)
+}
+
+// hears tells whether the record's word holds, and says when it begins or ends not to.
+func (a *Agent) hears(now time.Duration, v record.View) bool {
+	switch {
+	case a.Zones == nil || v.Fresh != a.deaf || !v.Fresh && now-a.began < a.Lease:
+		return v.Fresh
+	case v.Fresh:
+		slog.Info("fleet: zones: this member goes by the record's word again", "index", v.State.Index, "leader", v.Leader)
+	default:
+		index, age := uint64(0), "never"
+		if v.State != nil {
+			index = v.State.Index
+		}
+		if !v.Heard.IsZero() {
+			age = time.Since(v.Heard).Round(time.Millisecond).String()
+		}
+		slog.Info("fleet: zones: the record is not heard, this member goes by its last word and by what its node sees", "index", index, "heard", age)
+	}
+	a.deaf = !v.Fresh
+	return v.Fresh
+}
+
+// Answer takes what the node has said. The node's clock is the machine's.
+func (a *Agent) Answer(s link.Said) link.Told {
+	g := a.Member.Answer(s.Spending)
+	g.Until -= a.Offset
+	told := link.Told{Granted: g}
+	if a.Accounts != nil && a.Record != nil {
+		a.tables.hear(&s)
+		a.tables.tell(&s, &told)
+		a.dealing.tell(a, a.Clock(), a.Record.View(), &s, &told)
+	}
+	a.counted(&s, &told)
+	return told
+}
--- /dev/null
+++ b/internal/fleet/agent/exchange_test.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/record"
+)
+
+// play runs a script for so long: members speak at 25 ms after each tenth of a second, the
+// node asks at 50 ms, and operators at 75 ms. Of the node's exchange those lines are written
+// whose word on zones is news.
+func (w *world) play(t *testing.T, ctx context.Context, end time.Duration, script map[time.Duration]func()) {
+	done := make(chan struct{})
+	go func() { defer close(done); w.agent.Run(ctx) }()
+	last := ""
+	for seq := range int(end / every) {
+		if do := script[time.Duration(seq)*every]; do != nil {
+			do()
+		}
+		time.Sleep(25 * time.Millisecond)
+		w.hear(seq + 1)
+		time.Sleep(25 * time.Millisecond)
+		line, err := json.Marshal(link.Said{Spending: w.spending()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer, err := w.node.ask(string(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var told link.Told
+		if err := json.Unmarshal([]byte(answer), &told); err != nil {
+			t.Fatal(err)
+		}
+		w.half = told.Half
+		if now, err := json.Marshal(told.Zones); err != nil || string(now) != last {
+			if w.write("node", "%s", line); seq > 0 {
+				w.out.Truncate(w.out.Len() - len(line) - 1)
+				w.out.WriteString("...\n")
+			}
+			w.write("agent", "%s", strings.TrimSpace(answer))
+			last = string(now)
+		}
+		time.Sleep(25 * time.Millisecond)
+		if do := script[time.Duration(seq)*every+75*time.Millisecond]; do != nil {
+			do()
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	<-done
+}
+
+// A zone fails, is left by the record's word and is returned to; meanwhile the record is
+// not heard for a while, and operators ask.
+func TestExchange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const end = 9 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
+		defer cancel()
+		w := newWorld(t, ctx)
+		operator := func(line string) func() {
+			return func() {
+				w.write("operator", "%s", line)
+				c := newTalk(w.dial())
+				answer, err := c.ask(line)
+				if err != nil {
+					t.Error(err)
+				}
+				w.write("agent", "%s", strings.TrimSpace(answer))
+				_ = c.conn.Close()
+			}
+		}
+		hears := func(fresh bool) func() {
+			return func() {
+				w.write("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
+				w.ledger.change(func(v *record.View) {
+					if v.Fresh = fresh; fresh {
+						v.Heard = time.Now()
+					}
+				})
+			}
+		}
+		fails := func(share float64) func() {
+			return func() {
+				w.write("zone c", "%.0f %% of all attempts fail", 100*share)
+				w.failed["c"] = share
+			}
+		}
+		const late = 75 * time.Millisecond
+		w.play(t, ctx, end, map[time.Duration]func(){
+			0:                            hears(true),
+			500 * time.Millisecond:       fails(1),
+			1800*time.Millisecond + late: operator(`{"ask":"state"}`),
+			2 * time.Second:              hears(false),
+			2500 * time.Millisecond:      fails(0),
+			3 * time.Second:              hears(true),
+			time.Second + late:           operator(`{"ask":"explain"}`),
+			1100*time.Millisecond + late: operator(`{"ask":"check","entry":{"kind":"settings","by":"","at":0,"body":{}}}`),
+			1200*time.Millisecond + late: operator(`{"ask":"propose","entry":{"kind":"zones","by":"","at":0,"body":{"base":7,"set":[],"zones":["a"]}}}`),
+			1300*time.Millisecond + late: operator(`{"ask":"propose","entry":{"knid":"zones"}}`),
+			1400*time.Millisecond + late: operator(`{"ask":`),
+		})
+		goldie.New(t).Assert(t, "exchange", w.out.Bytes())
+	})
+}
+
+// A proposal that is not decided is the only one under way, and holds up nothing.
+func TestOneProposalAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const end = 6 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
+		defer cancel()
+		w := newWorld(t, ctx)
+		w.ledger.change(func(v *record.View) { v.Fresh = true })
+		w.ledger.stuck = true
+		w.failed["c"] = 1
+		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.ledger.stuck = false }})
+		if s := w.ledger.View().State; w.ledger.most != 1 || len(s.Zones.Bounds("a")) != 1 || w.ledger.asked != 0 {
+			t.Errorf("%d proposals at once, then %+v", w.ledger.most, s.Zones)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/agent/lead.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/zone"
+)
+
+// proposing is how long a proposal may take. The decider decides anew after as long.
+const proposing = time.Second
+
+// lead looks at what all members saw, and proposes what is to change: one thing at a time,
+// so that each is decided on the state that the last one left.
+func (a *Agent) lead(ctx context.Context, now time.Duration, state zone.State, proposals *sync.WaitGroup) {
+	var members []zone.Member
+	for _, m := range a.Member.Members() {
+		if m.Status != share.Left {
+			members = append(members, zone.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == share.Alive})
+		}
+	}
+	change, why, ok := a.watch.Step(now, state, a.Member.Words(), members)
+	if !ok {
+		return
+	}
+	select {
+	case a.out <- struct{}{}:
+	default:
+		return
+	}
+	proposals.Go(func() {
+		defer func() { <-a.out }()
+		ctx, cancel := context.WithTimeout(ctx, proposing)
+		defer cancel()
+		a.propose(ctx, now, change, why)
+	})
+}
+
+func (a *Agent) propose(ctx context.Context, now time.Duration, change zone.Change, why string) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		slog.Error("fleet: zones", "err", err)
+		return
+	}
+	outcome, err := a.Record.Propose(ctx, entry.Entry{Kind: entry.Zones, By: a.Name, At: now.Milliseconds(), Why: why, Body: body})
+	switch {
+	case err != nil:
+		slog.Warn("fleet: zones: a change was not decided", "why", why, "err", err)
+	case !outcome.Taken:
+		slog.Warn("fleet: zones: a change was not taken", "why", why, "index", outcome.Index, "reason", outcome.Reason)
+	default:
+		slog.Info("fleet: zones", "why", why, "index", outcome.Index)
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/operator.go
@@ -0,0 +1,118 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/record"
+)
+
+// Outcome answers the asks "check" and "propose".
+type Outcome struct {
+	Outcome entry.Outcome `json:"outcome"`
+}
+
+// Operator answers an operator's ask: "state" for people, "record" for all that the record
+// holds, "check" for whether an entry would be taken now, "propose" to have it taken.
+func (a *Agent) Operator(ctx context.Context, ask link.Ask) (any, error) {
+	switch ask.Ask {
+	case "state":
+		return a.State(), nil
+	case "record", "check", "propose":
+		if a.Record == nil {
+			return nil, fmt.Errorf("fleet.record: %s", a.Why)
+		}
+	default:
+		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", ask.Ask)
+	}
+	state := a.Record.View().State
+	if ask.Ask == "record" {
+		return state, nil
+	}
+	if len(ask.Entry) > entry.Largest {
+		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(ask.Entry), entry.Largest)
+	}
+	var e entry.Entry
+	if err := entry.Strict(ask.Entry, &e); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	if err := operators(&e); err != nil {
+		return nil, err
+	}
+	e.By = a.Name
+	if ask.Ask == "propose" {
+		o, err := a.Record.Propose(ctx, e)
+		if errors.Is(err, record.ErrUnknown) {
+			err = &link.Refusal{Text: err.Error(), Unknown: true}
+		}
+		return Outcome{o}, err
+	}
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	o := entry.Outcome{Index: state.Index, Taken: true}
+	if err := state.Check(raw); err != nil {
+		o.Taken, o.Reason = false, err.Error()
+	}
+	return Outcome{o}, nil
+}
+
+// operators tells whether an entry can be an operator's. Postures of zones and allocations are
+// the leader's own decisions, which never come by a port: whoever reaches it could have the
+// fleet leave a zone.
+func operators(e *entry.Entry) error {
+	switch {
+	case e.Kind == entry.Zones:
+		return errors.New("entry: zones: the fleet alone decides on postures")
+	case e.Key == "":
+		return fmt.Errorf("entry: %.40s: not signed", e.Kind)
+	case e.Kind != entry.Contracts:
+		return nil
+	}
+	var c promise.Change
+	if err := entry.Strict(e.Body, &c); err != nil {
+		return fmt.Errorf("entry: contracts: %w", err)
+	}
+	if len(c.Steer) > 0 {
+		return errors.New("entry: contracts: the fleet alone decides on allocations")
+	}
+	return nil
+}
+
+// State is what this member knows and tells its node.
+func (a *Agent) State() link.State {
+	s := link.State{Name: a.Name, Zone: a.Zone, Record: "on", Heard: -1, Postures: []link.Seen{}, Bounds: []link.Bound{}}
+	if a.Record == nil {
+		s.Record = a.Why
+	} else {
+		v := a.Record.View()
+		s.Role, s.Leader, s.Fresh, s.Disk = v.Role, v.Leader, v.Fresh, v.Disk
+		if !v.Heard.IsZero() {
+			s.Heard = time.Since(v.Heard).Milliseconds()
+		}
+		if v.State != nil {
+			s.Index, s.Hash, s.Version = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
+			for _, z := range v.State.Zones.Seen {
+				s.Postures = append(s.Postures, link.Seen{From: z.From, To: z.To, Posture: z.Posture.String(), Share: z.Share,
+					Step: z.Step, Rate: z.Rate, Since: z.Since, Until: z.Until, Fails: z.Fails})
+			}
+		}
+	}
+	a.mu.Lock()
+	s.Over = a.given.Over
+	for _, b := range a.given.Bounds {
+		s.Bounds = append(s.Bounds, link.Bound(b))
+	}
+	a.mu.Unlock()
+	for _, m := range a.Member.Members() {
+		s.Members = append(s.Members, link.Peer{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), Record: m.Record, Index: m.Index, At: m.At})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/entry/entry_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/zone"
+)
+
+func raw(t *testing.T, e Entry) []byte {
+	t.Helper()
+	b, err := json.Marshal(&e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func over(t *testing.T, base uint64, part float64) []byte {
+	body, _ := json.Marshal(zone.Change{Base: base, Zones: []string{"a", "b"}, Over: part})
+	return raw(t, Entry{Kind: Zones, By: "m1", Body: body})
+}
+
+// Whoever applies the same entries holds the same state and hash, also by way of a state
+// that was written down; one entry that differs, or its place, shows in all hashes after it.
+func TestChain(t *testing.T) {
+	start, err := New(Genesis{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries := [][]byte{over(t, 0, 0.25), []byte("no JSON"), over(t, 1, 0.5)}
+	taken := []bool{true, false, true}
+	s, hashes := start, map[Hash]bool{start.Hash: true}
+	for i, e := range entries {
+		before := *s
+		next, out := s.Apply(e)
+		if !reflect.DeepEqual(before, *s) {
+			t.Errorf("entry %d changed the state before it", i)
+		}
+		if out.Index != uint64(i+1) || next.Index != out.Index || out.Taken != taken[i] || out.Taken != (out.Reason == "") {
+			t.Errorf("entry %d: %+v", i, out)
+		}
+		if !taken[i] && !reflect.DeepEqual(next.Zones, s.Zones) {
+			t.Errorf("entry %d changed something though it was not taken", i)
+		}
+		if hashes[next.Hash] {
+			t.Errorf("entry %d: a hash that was there before", i)
+		}
+		hashes[next.Hash] = true
+		text, err := json.Marshal(next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s = &State{}
+		if err := Strict(text, s); err != nil || !reflect.DeepEqual(s, next) {
+			t.Fatalf("written down and read: %+v, %v; it was %+v", s, err, next)
+		}
+		if s.Adopt(Genesis{}) != nil || s.Adopt(Genesis{Root: make([]byte, ed25519.PublicKeySize)}) == nil {
+			t.Error("taken over for another beginning, or not for its own")
+		}
+	}
+	other := start
+	for _, i := range []int{1, 0, 2} {
+		other, _ = other.Apply(entries[i])
+	}
+	if other.Hash == s.Hash || !reflect.DeepEqual(other.Zones, s.Zones) {
+		t.Error("the order does not show in the hash, or does in the zones")
+	}
+	if elsewhere, _ := New(Genesis{Root: make([]byte, ed25519.PublicKeySize)}); elsewhere.Hash == start.Hash {
+		t.Error("another beginning has the same hash")
+	}
+}
+
+func TestRefused(t *testing.T) {
+	s, err := New(Genesis{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for text, why := range map[string]string{
+		``:                                  "EOF",
+		`{"kind":"zones","body":{}} {}`:     "more than one value",
+		`{"kind":"zones","x":1,"body":{}}`:  "unknown field",
+		`{"kind":"zones","body":{"x":1}}`:   "unknown field",
+		`{"kind":"tariffs","body":{}}`:      "unknown kind",
+		`{"kind":"settings","body":{}}`:     "no entry of this kind",
+		`{"kind":"zones","sig":"AA=="}`:     "a signature, but no key",
+		`{"kind":"accounts","key":"who"}`:   "nobody's",
+		strings.Repeat(" ", Largest) + `{}`: "at most",
+	} {
+		err := s.Check([]byte(text))
+		next, out := s.Apply([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), why) || out.Taken || out.Reason != err.Error() || next.Index != 1 {
+			t.Errorf("%.60s: %v, %+v; want %q", text, err, out, why)
+		}
+	}
+	if _, err := New(Genesis{Root: []byte("short")}); err == nil {
+		t.Error("a root that is no key was taken")
+	}
+}
+
+func TestSignature(t *testing.T) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(Genesis{Root: public})
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := Entry{Kind: Accounts, By: "m1", At: 5, Why: "a <new> partner", Key: KeyName(public),
+		Body: []byte(`{"base": 0, "ops": [{"do": "found", "path": "acme", "node": {"limits": {}}}]}`)}
+	good.Sig = ed25519.Sign(private, good.Signed())
+	moved := good
+	moved.By = "m2"
+	for _, e := range []Entry{good, moved} {
+		if next, out := s.Apply(raw(t, e)); !out.Taken || next.Accounts.Nodes["acme"] == nil {
+			t.Errorf("by %s: %+v", e.By, out)
+		}
+	}
+	for what, edit := range map[string]func(*Entry){
+		"at":   func(e *Entry) { e.At++ },
+		"why":  func(e *Entry) { e.Why = "" },
+		"kind": func(e *Entry) { e.Kind = Contracts },
+		"body": func(e *Entry) { e.Body = []byte(strings.Replace(string(e.Body), "acme", "evil", 1)) },
+		"sig":  func(e *Entry) { e.Sig = nil },
+	} {
+		e := good
+		edit(&e)
+		if err := s.Check(raw(t, e)); err == nil || !strings.Contains(err.Error(), "the signature is not good") {
+			t.Errorf("%s changed: %v", what, err)
+		}
+	}
+	// What is signed with spaces in it, or with letters that JSON escapes, travels.
+	body, _ := json.Marshal(account.Change{Ops: []account.Op{{Do: account.Found, Path: "<&>"}}})
+	odd := Entry{Kind: Accounts, Key: KeyName(public), Body: []byte(strings.ReplaceAll(string(body), `\u003c`, "<"))}
+	odd.Sig = ed25519.Sign(private, odd.Signed())
+	if err := s.Check(raw(t, odd)); err == nil || strings.Contains(err.Error(), "signature") {
+		t.Errorf("a path that is none: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/link/link_test.go
@@ -0,0 +1,108 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+)
+
+// agent answers with what it is asked.
+type agent struct{}
+
+func (agent) Answer(s Said) Told { return Told{Granted: balance.Granted{Retries: s.Firsts}} }
+func (agent) Operator(_ context.Context, a Ask) (any, error) {
+	if a.Ask == "lost" {
+		return nil, &Refusal{Text: "who knows", Unknown: true}
+	}
+	return a.Entry, nil
+}
+
+// Whatever others send on the port, and however many they are, a node is answered.
+func TestServe(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- Serve(ctx, l, agent{}) }()
+	told, lost := make(chan Told, 100), make(chan error, 100)
+	node := &Link{Addr: addr, Say: func() (s Said) { s.Firsts = 3; return s },
+		Take: func(g Told) { told <- g }, Lost: func(err error) { lost <- err }}
+	ended := make(chan struct{})
+	go func() { defer close(ended); node.Run(ctx) }()
+	<-told
+	var all []net.Conn
+	for range 2 * mostConnections { // silent ones, of which some are sent away
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	_ = all[len(all)-1].SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := all[len(all)-1].Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("one too many reads %d bytes, %v", n, err)
+	}
+	endless := []byte(strings.Repeat("x", 64<<10))
+	for n := 0; n <= 2*Longest+8<<20; n += len(endless) {
+		if _, err = all[0].Write(endless); err != nil {
+			break
+		}
+	}
+	if err == nil {
+		t.Error("a line without an end is taken")
+	}
+	for range cap(told) {
+		if g := <-told; g.Retries != 3 {
+			t.Fatalf("%+v", g)
+		}
+		if len(told) == 0 {
+			break
+		}
+	}
+	for _, c := range all {
+		_ = c.Close()
+	}
+	if len(lost) > 0 {
+		t.Errorf("the node was let go: %v", <-lost)
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	<-ended
+}
+
+func TestCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- Serve(ctx, l, agent{}) }()
+	var got []int
+	if err := Call(addr, Ask{Ask: "echo", Entry: []byte("[1,2]")}, &got); err != nil || len(got) != 2 {
+		t.Errorf("%v, %v", got, err)
+	}
+	var no *Refusal
+	if err := Call(addr, Ask{Ask: "lost"}, &got); !errors.As(err, &no) || !no.Unknown || no.Text != "who knows" {
+		t.Errorf("%v", err)
+	}
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+	if err := Call(addr, Ask{Ask: "echo"}, &got); err == nil || !strings.Contains(err.Error(), "fleet agent") {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/link/parts.go
@@ -0,0 +1,151 @@
+package link
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/route"
+)
+
+// Part is how much of a table or of rights goes with one answer, in bytes of JSON, but for
+// what one entry is beyond it: a whole answer stays below Longest.
+const Part = 1 << 20
+
+// TableParts cuts news of a table into parts, at least one. All have its head, and together
+// they are it.
+func TableParts(w route.Wire, most int) []route.Wire {
+	head := route.Wire{Index: w.Index, Whole: w.Whole, Since: w.Since}
+	parts, size := []route.Wire{head}, 0
+	parts[0].Ready = w.Ready
+	at := func(item any) *route.Wire {
+		n := sizeOf(item)
+		if size > 0 && size+n > most {
+			parts, size = append(parts, head), 0
+		}
+		size += n
+		return &parts[len(parts)-1]
+	}
+	for _, e := range w.Set {
+		p := at(e)
+		p.Set = append(p.Set, e)
+	}
+	for _, path := range w.Gone {
+		p := at(path)
+		p.Gone = append(p.Gone, path)
+	}
+	for _, a := range w.Steer {
+		p := at(a)
+		p.Steer = append(p.Steer, a)
+	}
+	return parts
+}
+
+// join puts a further part to what came before it.
+func join(w, part route.Wire) route.Wire {
+	w.Set, w.Gone, w.Steer = append(w.Set, part.Set...), append(w.Gone, part.Gone...), append(w.Steer, part.Steer...)
+	return w
+}
+
+// RightsParts cuts rights into parts, at least one.
+func RightsParts(r account.Rights, most int) []account.Rights {
+	head := r
+	head.Paths, head.Even = nil, nil
+	parts, size := []account.Rights{head}, 0
+	at := func(path string, f account.Figures) *account.Rights {
+		n := sizeOf(path) + sizeOf(f)
+		if size > 0 && size+n > most {
+			parts, size = append(parts, head), 0
+		}
+		size += n
+		return &parts[len(parts)-1]
+	}
+	for _, path := range slices.Sorted(maps.Keys(r.Paths)) {
+		p := at(path, r.Paths[path])
+		put(&p.Paths, path, r.Paths[path])
+	}
+	for _, path := range slices.Sorted(maps.Keys(r.Even)) {
+		p := at(path, r.Even[path])
+		put(&p.Even, path, r.Even[path])
+	}
+	return parts
+}
+
+func put(m *map[string]account.Figures, path string, f account.Figures) {
+	if *m == nil {
+		*m = map[string]account.Figures{}
+	}
+	(*m)[path] = f
+}
+
+func sizeOf(item any) int {
+	raw, err := json.Marshal(item)
+	if err != nil {
+		return 0 // then the answer that holds it can't be written, and says so
+	}
+	return len(raw) + 2
+}
+
+// Gathering puts the parts of tables and rights together, on the node's side. Its zero value
+// has nothing.
+type Gathering struct {
+	index  uint64 // of the table that is gathered
+	table  route.Wire
+	parts  int
+	deal   uint64
+	rights account.Rights
+	pieces int
+	even   map[string]account.Figures // of the last deal that is whole,
+	whole  uint64                     // and its number
+}
+
+// Say tells the agent what there is already.
+func (g *Gathering) Say(s *Said) {
+	s.Toward, s.Part, s.Deal, s.Piece = g.index, g.parts, g.deal, g.pieces
+	s.Even = g.whole
+}
+
+// Table takes an answer's part of a table, and returns the news of it once it is whole.
+func (g *Gathering) Table(t *Told) (route.Wire, bool) {
+	switch {
+	case t.Table == nil:
+		return route.Wire{}, false
+	case g.parts > 0 && t.Table.Index == g.index:
+		g.table = join(g.table, *t.Table)
+	default:
+		g.index, g.table, g.parts = t.Table.Index, *t.Table, 0
+	}
+	if g.parts++; g.parts < t.Parts {
+		return route.Wire{}, false
+	}
+	w := g.table
+	g.index, g.table, g.parts = 0, route.Wire{}, 0
+	return w, true
+}
+
+// Rights takes an answer's part of rights, and returns them once they are whole.
+func (g *Gathering) Rights(t *Told) (account.Rights, bool) {
+	switch {
+	case t.Rights == nil:
+		return account.Rights{}, false
+	case g.pieces > 0 && t.Deal == g.deal:
+	default:
+		g.deal, g.pieces = t.Deal, 0
+		g.rights = *t.Rights
+		g.rights.Paths, g.rights.Even = map[string]account.Figures{}, nil
+	}
+	maps.Copy(g.rights.Paths, t.Rights.Paths)
+	for path, f := range t.Rights.Even {
+		put(&g.rights.Even, path, f)
+	}
+	if g.pieces++; g.pieces < t.Pieces {
+		return account.Rights{}, false
+	}
+	r := g.rights
+	if r.Even == nil {
+		r.Even = g.even
+	}
+	g.even, g.whole, g.rights = r.Even, g.deal, account.Rights{}
+	return r, true
+}
--- /dev/null
+++ b/internal/fleet/link/wire.go
@@ -0,0 +1,119 @@
+// Package link is how a node and the fleet agent beside it talk: the node tells what it
+// has spent, the agent answers with what it may spend now, a line of JSON each over a
+// loopback connection. The agent is a process of its own, so that the node stays lean and
+// goes on alone when it is gone. Operators ask on the same port. Nothing is decided here.
+package link
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/route"
+)
+
+// Longest is how long a line may be, in bytes: some ten thousand next hops.
+const Longest = 2 << 20
+
+// patience is how long an answer may take before the node connects anew.
+const patience = time.Second
+
+// Said is what a node tells its agent, and Told what it is answered. An end that does not
+// know a field leaves it out or passes over it.
+//
+// The table of routes comes as changes to the one that the node has, rights whole; either in
+// parts where it is long, one with each answer. A deal's even parts are left out where they are
+// those of the deal that the node had.
+type (
+	Said struct {
+		balance.Spending
+		Table     uint64           `json:"table,omitempty"`     // index of the table that the node has
+		Toward    uint64           `json:"toward,omitempty"`    // of the one that it is being told,
+		Part      int              `json:"part,omitempty"`      // of which it has so many parts
+		Deal      uint64           `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
+		Piece     int              `json:"piece,omitempty"`     // of which it has so many parts
+		Even      uint64           `json:"even,omitempty"`      // the last that it has whole
+		Uses      *account.Use     `json:"uses,omitempty"`      // what it has used, without member and time
+		Samples   []promise.Sample `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
+		Contracts uint64           `json:"contracts,omitempty"` // version of those that the node counts by
+	}
+	Told struct {
+		balance.Granted
+		Table    *route.Wire     `json:"table,omitempty"`    // nil for no news
+		Parts    int             `json:"parts,omitempty"`    // of the table's news, all told
+		Rights   *account.Rights `json:"rights,omitempty"`   // nil for no news
+		Deal     uint64          `json:"deal,omitempty"`     // their number
+		Pieces   int             `json:"pieces,omitempty"`   // of the deal, all told
+		More     bool            `json:"more,omitempty"`     // is to be asked for at once
+		Promised *Promised       `json:"promised,omitempty"` // nil for as before
+	}
+)
+
+// Ask is what operators ask an agent: "state", "record", "check" or "propose", the last
+// two about an entry. Nodes' lines have no ask.
+type Ask struct {
+	Ask   string          `json:"ask"`
+	Entry json.RawMessage `json:"entry,omitempty"`
+}
+
+// Refusal is the answer to an ask that can't be done, and the error that Call makes of it.
+type Refusal struct {
+	Text    string `json:"error"`
+	Unknown bool   `json:"unknown,omitempty"` // what was asked may have been done, or may yet be
+}
+
+func (r *Refusal) Error() string { return r.Text }
+
+// answering is how long the agent may take for an operator's answer: a record without a
+// leader needs some seconds to say so.
+const answering = 10 * time.Second
+
+// Call asks the agent at addr and reads its answer into into. What the
+// agent refuses is a *Refusal.
+func Call(addr string, ask, into any) error {
+	conn, err := net.DialTimeout("tcp", addr, patience)
+	if err != nil {
+		return fmt.Errorf("fleet agent: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(answering)); err != nil {
+		return err
+	}
+	if err := json.NewEncoder(conn).Encode(ask); err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	var raw json.RawMessage
+	if err := next(lines(conn), &raw); err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	var no Refusal
+	if err := json.Unmarshal(raw, &no); err == nil && no.Text != "" {
+		return &no
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	return nil
+}
+
+func lines(conn net.Conn) *bufio.Scanner {
+	s := bufio.NewScanner(conn)
+	s.Buffer(make([]byte, 0, 4096), Longest)
+	return s
+}
+
+func next(s *bufio.Scanner, into any) error {
+	if !s.Scan() {
+		if s.Err() != nil {
+			return s.Err()
+		}
+		return errors.New("closed")
+	}
+	return json.Unmarshal(s.Bytes(), into)
+}
--- a/internal/fleet/member/agent.go
+++ b/internal/fleet/member/agent.go
@@ -1,28 +1,33 @@
-// Package member is the fleet agent: it knows by gossip which nodes there are (SWIM, by
-// hashicorp/memberlist), spreads what each has spent, and tells the node beside it what it
-// may spend, as package share decides.
+// Package member is the fleet agent's part in gossip: it knows which nodes there are (SWIM,
+// by hashicorp/memberlist), spreads what each has spent and seen, and tells the node beside
+// it what it may spend, as package share decides.
 package member
 
 import (
-	"encoding/json"
+	"hash/maphash"
 	"log/slog"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/hashicorp/memberlist"
+
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/zone"
 )
 
 // binds is how long a grant keeps the node to the fleet's budgets after the agent has last
 // been heard of.
 const binds = time.Second
 
-// largestReport is what one report may take of a datagram that others share.
-const largestReport = 1100
-
-// Agent is one member. Its methods may be called at any time.
+// Agent is one member. Its methods may be called at any time; Zone and Record are set
+// before.
 type Agent struct {
+	Zone   string               // where it stands; empty for nowhere
+	Record string               // where the others reach its record; empty where it serves none
+	Told   func(message []byte) // what others Tell this member; nil for nobody
+
 	name  string
 	boot  int64
 	cfg   share.Config
@@ -30,32 +35,61 @@
 
 	mu     sync.Mutex
 	state  *share.State
+	places map[string]place  // of others
+	words  map[string]word   // the last of each member
+	uses   map[string]Use    // and of what it uses of accounts,
+	raw    map[string][]byte // as it travels
+	given  Decided
 	seq    uint64
 	half   int64                // of the node's last word
 	spent  map[share.Server]int // in that half
 	prior  map[share.Server]int // in the half before it
+	seed   maphash.Seed
+	heard  [4096]uint64 // marks of reports that were taken
 	spread func(name string, report []byte)
+	list   *memberlist.Memberlist // nil before Run has met anybody
+}
+
+// Decided is what the record, or this member by itself, has decided for its node.
+type Decided struct {
+	Index  uint64       // of the record as this member serves it
+	Bounds []zone.Bound // zones that are not named are not bounded
+	Over   float64      // share of first arrivals that is refused at once
 }
 
 // NewAgent returns a member by that name that knows nobody.
 func NewAgent(name string, cfg share.Config, ignore share.Guards, clock func() time.Duration) *Agent {
 	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: share.New(name, cfg),
+		places: map[string]place{}, words: map[string]word{},
+		uses: map[string]Use{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
 		spent: map[share.Server]int{}, prior: map[share.Server]int{}, spread: func(string, []byte) {}}
 	a.state.Ignore = ignore
 	return a
 }
 
+// Decide takes what the node is told from now on.
+func (a *Agent) Decide(d Decided) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.given = d
+	a.forget(a.clock())
+}
+
 // Answer takes what the node has spent and returns what it may spend now.
 func (a *Agent) Answer(sp balance.Spending) balance.Granted {
 	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.own(now, sp)
-	a.state.Forget(now)
+	a.forget(now)
 	half, _, end := a.cfg.Half(now)
-	g := balance.Granted{Half: half, Until: end, For: binds, Retries: a.state.Retries(now)}
-	if a.half == half && sp.Half < half {
-		return g // a new process of the node: the old one had this half's tokens
+	g := balance.Granted{Half: half, Until: end, For: binds, Retries: a.state.Retries(now), Over: a.given.Over}
+	old := a.half == half && sp.Half < half // a new process of the node: the old one had this half's tokens
+	for _, b := range a.given.Bounds {
+		g.Zones = append(g.Zones, a.zoneGrant(now, b, old))
+	}
+	if old {
+		return g
 	}
 	for _, t := range a.state.Deal(now) {
 		g.Servers = append(g.Servers, balance.Grant{ID: t.ID, Started: time.Duration(t.Started) * time.Millisecond, Tokens: t.Tokens})
@@ -66,6 +100,16 @@
 	return g
 }
 
+func (a *Agent) zoneGrant(now time.Duration, b zone.Bound, spent bool) balance.ZoneGrant {
+	g := balance.ZoneGrant{Zone: b.Zone, Share: b.Share, Tokens: -1}
+	if b.Rate > 0 {
+		if g.Tokens = 0; !spent {
+			g.Tokens = a.state.Rate(now, share.Zone(b.Zone), b.Rate)
+		}
+	}
+	return g
+}
+
 // own makes this member's report of what its node says, and spreads it.
 func (a *Agent) own(now time.Duration, sp balance.Spending) {
 	if sp.Half > a.half {
@@ -75,104 +119,75 @@
 		a.half, a.spent = sp.Half, map[share.Server]int{}
 	}
 	a.seq++
-	r := share.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.Firsts, Retries: sp.Retries}
+	w := word{Report: share.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.Firsts, Retries: sp.Retries},
+		Zone: a.Zone, Index: a.given.Index, Sights: sights(sp.Servers)}
 	for _, x := range sp.Servers {
 		s := share.Server{ID: x.ID, Started: x.Started.Milliseconds()}
 		if sp.Half == a.half && x.Used > 0 {
 			a.spent[s] = x.Used
 		}
-		if x.Asked >= 0.1 || x.Cold {
+		if x.Asked >= asked || x.Cold {
 			u := share.Use{Server: s, Cold: x.Cold, Part: x.Part, Asked: x.Asked, Failed: x.Failed}
 			if x.Cold { // tokens are for cold ones alone
 				u.Spent, u.Prior = a.spent[s], a.prior[s]
 			}
-			r.Uses = append(r.Uses, u)
+			w.Uses = append(w.Uses, u)
 		}
 	}
-	a.state.Merge(r)
-	a.spread(a.name, pack(r))
-}
-
-// pack writes a report, with as many uses as fit a datagram: those of cold next hops
-// first, then those that fail, then those asked most.
-func pack(r share.Report) []byte {
-	slices.SortStableFunc(r.Uses, func(x, y share.Use) int {
-		weigh := func(u share.Use) float64 {
-			if u.Cold {
-				return 2e9
-			}
-			if u.Failed > 0 {
-				return 1e9 + u.Failed
-			}
-			return u.Asked
-		}
-		switch a, b := weigh(x), weigh(y); {
-		case a > b:
-			return -1
-		case a < b:
-			return 1
-		}
-		return 0
-	})
-	for {
-		raw, err := json.Marshal(r)
-		if err != nil { // no number that JSON can't write passes the module
-			slog.Error("fleet: report", "err", err)
-			return nil
+	for _, z := range sp.Zones {
+		s := share.Zone(z.Zone)
+		if sp.Half == a.half && z.Used > 0 {
+			a.spent[s] = z.Used
 		}
-		if len(raw) <= largestReport || len(r.Uses) == 0 {
-			return raw
+		if u := (share.Use{Server: s, Spent: a.spent[s], Prior: a.prior[s]}); u.Spent+u.Prior > 0 {
+			w.Uses = append(w.Uses, u)
 		}
-		r.Uses = r.Uses[:len(r.Uses)*largestReport/len(raw)]
 	}
+	a.keep(w)
+	a.spread(a.name, w.pack())
 }
 
-// Hear takes a report as it came, and spreads it further if it is news.
-func (a *Agent) Hear(raw []byte) {
-	var r share.Report
-	if err := json.Unmarshal(raw, &r); err != nil {
-		slog.Warn("fleet: a report that can't be read", "err", err)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if r.Member != a.name && a.state.Merge(r) {
-		a.spread(r.Member, slices.Clone(raw))
+// keep takes a report if it is news, and tells whether it was.
+func (a *Agent) keep(w word) bool {
+	if !w.sound() || !a.state.Merge(w.Report) {
+		return false
 	}
+	a.words[w.Member] = w
+	return true
 }
 
-// Saw takes news of membership.
-func (a *Agent) Saw(name string, status share.Status) {
-	slog.Info("fleet: member", "name", name, "status", [...]string{"alive", "failed", "left"}[status])
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.state.Saw(a.clock(), name, status)
-}
-
-// all are the reports of all members, for one that has been cut off.
-func (a *Agent) all() []byte {
+// Hear takes a report as it came, and spreads it further if it is news. Gossip brings each
+// several times: it is read once.
+func (a *Agent) Hear(raw []byte) {
+	mark := maphash.Bytes(a.seed, raw)
+	place := &a.heard[mark%uint64(len(a.heard))]
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	var reports []json.RawMessage
-	for _, r := range a.state.Reports() {
-		if raw := pack(r); raw != nil {
-			reports = append(reports, raw)
+	known := *place == mark
+	a.mu.Unlock()
+	if known {
+		return
+	}
+	if isUsed(raw) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		name, news, err := a.hearUsed(raw)
+		if err != nil {
+			slog.Warn("fleet: what a member says to have used can't be read", "err", err)
+		} else if news {
+			*place = mark
+			a.spread(name, slices.Clone(raw))
 		}
+		return
 	}
-	raw, err := json.Marshal(reports)
+	w, err := read(raw)
 	if err != nil {
-		return nil
-	}
-	return raw
-}
-
-func (a *Agent) hearAll(raw []byte) {
-	var reports []json.RawMessage
-	if err := json.Unmarshal(raw, &reports); err != nil {
-		slog.Warn("fleet: a state that can't be read", "err", err)
+		slog.Warn("fleet: a report that can't be read", "err", err)
 		return
 	}
-	for _, r := range reports {
-		a.Hear(r)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.Member != a.name && a.keep(w) {
+		*place = mark
+		a.spread(w.Member, slices.Clone(raw))
 	}
 }
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/member/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -11,12 +12,9 @@
 	"os"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
-
-	"coralrelay/internal/fleet/share"
 )
 
 // Gossip says how a member meets the others.
@@ -85,6 +83,9 @@
 	c.PushPullInterval = 10 * time.Second
 	c.DeadNodeReclaimTime = time.Second // a member may come back at another address
 	d := &delegate{agent: a}
+	if d.meta, err = json.Marshal(place{a.Zone, a.Record}); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
 	d.queue.RetransmitMult = c.RetransmitMult
 	// Not the list's own count: it is asked for under the queue's lock, and the list
 	// calls NotifyJoin under its own.
@@ -95,8 +96,9 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	a.mu.Lock()
+	a.list = list
 	a.spread = func(name string, report []byte) {
-		d.queue.QueueBroadcast(&word{name, report})
+		d.queue.QueueBroadcast(&broadcast{name, report})
 	}
 	a.mu.Unlock()
 	tick := time.NewTicker(rejoin)
@@ -136,46 +138,3 @@
 	}
 	return key, nil
 }
-
-// word is a report on its way; a later one of the same member takes its place.
-type word struct {
-	name string
-	raw  []byte
-}
-
-func (r *word) Invalidates(o memberlist.Broadcast) bool {
-	other, ok := o.(*word)
-	return ok && other.name == r.name
-}
-func (r *word) Name() string    { return r.name }
-func (r *word) Message() []byte { return r.raw }
-func (r *word) Finished()       {}
-
-// delegate is what memberlist calls.
-type delegate struct {
-	agent *Agent
-	there atomic.Int64 // members that are alive
-	queue memberlist.TransmitLimitedQueue
-}
-
-func (d *delegate) NodeMeta(int) []byte  { return nil }
-func (d *delegate) NotifyMsg(raw []byte) { d.agent.Hear(raw) }
-func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
-	return d.queue.GetBroadcasts(overhead, limit)
-}
-func (d *delegate) LocalState(bool) []byte              { return d.agent.all() }
-func (d *delegate) MergeRemoteState(raw []byte, _ bool) { d.agent.hearAll(raw) }
-
-func (d *delegate) NotifyJoin(n *memberlist.Node) {
-	d.there.Add(1)
-	d.agent.Saw(n.Name, share.Alive)
-}
-func (d *delegate) NotifyUpdate(*memberlist.Node) {}
-func (d *delegate) NotifyLeave(n *memberlist.Node) {
-	d.there.Add(-1)
-	if n.State == memberlist.StateLeft {
-		d.agent.Saw(n.Name, share.Left)
-		return
-	}
-	d.agent.Saw(n.Name, share.Failed)
-}
--- /dev/null
+++ b/internal/fleet/member/roster.go
@@ -0,0 +1,138 @@
+package member
+
+import (
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/zone"
+)
+
+// place is what membership carries of a member, before it has said anything: memberlist
+// keeps it within 512 bytes.
+type place struct {
+	Zone   string `json:"zone,omitempty"`
+	Record string `json:"record,omitempty"`
+}
+
+// sound tells whether it can be true: it comes from outside.
+func (p place) sound() bool { return len(p.Zone) <= longestZone && len(p.Record) <= 64 }
+
+// Standing is what is known of a member.
+type Standing struct {
+	Name   string       `json:"name"`
+	Zone   string       `json:"zone,omitempty"`
+	Status share.Status `json:"-"`
+	Record string       `json:"record,omitempty"` // where it serves the record
+	Index  uint64       `json:"index,omitempty"`  // as it last said
+	At     int64        `json:"at,omitempty"`     // Unix ms of its last word, by its clock
+}
+
+// Saw takes news of membership.
+func (a *Agent) Saw(name string, status share.Status, meta []byte) {
+	var p place
+	if err := json.Unmarshal(meta, &p); len(meta) > 0 && err != nil || !p.sound() {
+		slog.Warn("fleet: a member's place can't be read", "name", name, "err", err)
+		p = place{}
+	}
+	slog.Info("fleet: member", "name", name, "status", status, "zone", p.Zone)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Saw(a.clock(), name, status)
+	if _, known := a.state.Members()[name]; known && name != a.name {
+		a.places[name] = p
+	}
+}
+
+// forget drops what is known of members that share forgets.
+func (a *Agent) forget(now time.Duration) {
+	a.state.Forget(now)
+	known := a.state.Members()
+	gone := func(name string) bool { _, ok := known[name]; return !ok }
+	maps.DeleteFunc(a.places, func(name string, _ place) bool { return gone(name) })
+	maps.DeleteFunc(a.words, func(name string, _ word) bool { return gone(name) })
+	maps.DeleteFunc(a.uses, func(name string, _ Use) bool { return gone(name) })
+	maps.DeleteFunc(a.raw, func(name string, _ []byte) bool { return gone(name) })
+}
+
+// Members returns all members, this one too, by name.
+func (a *Agent) Members() (all []Standing) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, status := range a.state.Members() {
+		m, w := Standing{Name: name, Status: status}, a.words[name]
+		p := a.places[name]
+		if name == a.name {
+			p = place{a.Zone, a.Record}
+		}
+		m.Zone, m.Record, m.Index, m.At = p.Zone, p.Record, w.Index, w.At.Milliseconds()
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(x, y Standing) int { return cmp.Compare(x.Name, y.Name) })
+	return all
+}
+
+// Words returns what each member saw last of the zones, by name.
+func (a *Agent) Words() (all []zone.Word) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(a.words)) {
+		if w := a.words[name]; w.Zone != "" {
+			all = append(all, w.zones())
+		}
+	}
+	return all
+}
+
+// Own returns what this member's node saw last.
+func (a *Agent) Own() zone.Word {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w := a.words[a.name]
+	w.Member, w.Zone = a.name, a.Zone
+	return w.zones()
+}
+
+// zones is the evidence in a word.
+func (w word) zones() zone.Word {
+	z := zone.Word{Member: w.Member, From: w.Zone, At: w.At, Sights: make([]zone.Sight, len(w.Sights))}
+	for i, s := range w.Sights {
+		z.Sights[i] = zone.Sight(s)
+	}
+	return z
+}
+
+// all are the reports of all members, for one that has been cut off.
+func (a *Agent) all() []byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var reports []json.RawMessage
+	for _, name := range slices.Sorted(maps.Keys(a.words)) {
+		if raw := a.words[name].pack(); raw != nil {
+			reports = append(reports, raw)
+		}
+		if raw := a.raw[name]; raw != nil {
+			reports = append(reports, raw)
+		}
+	}
+	raw, err := json.Marshal(reports)
+	if err != nil {
+		return nil
+	}
+	return raw
+}
+
+func (a *Agent) hearAll(raw []byte) {
+	var reports []json.RawMessage
+	if err := json.Unmarshal(raw, &reports); err != nil {
+		slog.Warn("fleet: a state that can't be read", "err", err)
+		return
+	}
+	for _, r := range reports {
+		a.Hear(r)
+	}
+}
--- /dev/null
+++ b/internal/fleet/member/word_test.go
@@ -0,0 +1,80 @@
+package member
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"coralrelay/balance"
+	"coralrelay/internal/fleet/share"
+)
+
+// What is dropped of a report that does not fit is what was asked least; what was spent of
+// tokens and what was seen of 12 zones stays.
+func TestReportsFitADatagram(t *testing.T) {
+	w := word{Report: share.Report{Member: strings.Repeat("n", 64), Boot: 1.7e18, Seq: 1e9, At: 1.7e18, Half: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
+	var servers []balance.Spent
+	for i := range 500 {
+		u := share.Use{Server: share.Server{ID: fmt.Sprintf("s-%08x", i), Started: 1_700_000_000_000}, Asked: float64(i)}
+		u.Cold, u.Failed = i == 7, float64(i%100/99)
+		w.Uses = append(w.Uses, u)
+		servers = append(servers, balance.Spent{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), Asked: 12.3456789, Failed: 1.0 / 3, Load: 1.0 / 7})
+	}
+	w.Uses = append(w.Uses, share.Use{Server: share.Zone("b"), Spent: 3})
+	w.Sights = sights(servers)
+	raw := w.pack()
+	if len(raw) > largest {
+		t.Errorf("%d bytes", len(raw))
+	}
+	for _, want := range []string{"s-00000007", `"id":"b","started":-1,"spent":3`, `["a-zone-of-a-long-name-00",36,0,36,444,12,0.143,0]`} {
+		if !strings.Contains(string(raw), want) {
+			t.Errorf("%s is not in %s", want, raw)
+		}
+	}
+	if got, err := read(raw); err != nil || len(got.Sights) != mostZones || !got.sound() {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for i := range w.Sights {
+		w.Sights[i].To = strings.Repeat("\x01", longestZone) // six bytes each
+	}
+	if raw := w.pack(); len(raw) > largest {
+		t.Errorf("%d bytes of zones with odd names", len(raw))
+	}
+}
+
+func TestSights(t *testing.T) {
+	got := sights([]balance.Spent{
+		{ID: "1", Zone: "b", Load: 0.5, Asked: 1.5, Failed: 4}, {ID: "2", Zone: "b", Load: -1, Asked: 4, Failed: 1, Cold: true},
+		{ID: "3", Zone: "b", Load: 0.25, Asked: 0.4, Failed: 0.4}, {ID: "4", Zone: "a", Load: -1}, {ID: "5"}})
+	if want := []sight{{To: "a", Servers: 1, Load: -1}, {To: "b", Servers: 3, Bad: 1, Tried: 3, Asked: 8.4, Failed: 5.4, Load: 0.375, Cold: 1}}; !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// A report of an older version is read; one that can't be true is not taken, whoever says it.
+func TestHear(t *testing.T) {
+	for raw, zones := range map[string]int{
+		`{"member":"n2","boot":1,"seq":1,"firsts":3}`:                                                  0,
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,1,3,9,2.5,-1,0]]}`:     1,
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","later":{"x":1},"sights":[]}`:           1,
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,5,3,9,2.5,-1,0]]}`:     -1, // more bad ones than there are
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,1,3,-9,2.5,-1,0]]}`:    -1,
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,1]]}`:                  -1,
+		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,1,3,9,2.5,-1,0,"x"]]}`: -1,
+		`{"member":"stranger","boot":1,"seq":1,"firsts":3,"zone":"a"}`:                                 -1,
+		`{"member":`: -1,
+	} {
+		a := NewAgent("n1", cfg, share.Guards{}, clock)
+		a.Hear([]byte(raw)) // before it is known who that is
+		a.Saw("n2", share.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
+		a.Hear([]byte(raw))
+		a.Hear([]byte(raw))
+		if got := len(a.words) - 1; got != min(zones, 0) || len(a.Words()) != max(zones, 0) {
+			t.Errorf("%s: %d words, %v", raw, len(a.words), a.Words())
+		}
+		if m := a.Members(); len(m) != 2 || m[1].Zone != "a" || m[1].Record != "127.0.0.1:1" {
+			t.Errorf("%+v", m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/promise/hour_test.go
@@ -0,0 +1,130 @@
+package promise
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// An hour of 1,000 contracts in 12 regions, two of which grow slow, one small, one left for
+// ten minutes: no region is given more than it bears, and the last 20 minutes are calm. The
+// contract that nobody can keep says so and stays.
+func TestHour(t *testing.T) {
+	w := newWorld(t, 1000, 12, 4, 0.4)
+	w.cfg.Part, w.cfg.Late, w.cfg.Parts = 10*time.Second, 10*time.Second, 3
+	w.st = NewSteer(w.cfg)
+	w.regions[3].Capacity = 650
+	hopeless := &w.s.Contracts[500]
+	hopeless.Bound = 2 * time.Millisecond
+	w.run(10 * time.Minute)
+	w.mean["r00"], w.mean["r07"] = 60, 60
+	w.run(10 * time.Minute)
+	w.regions[10].Usable = 0
+	w.run(5 * time.Minute)
+	for _, a := range w.s.Steered {
+		if a.Shares["r10"] > 0 {
+			t.Fatalf("%s has %.3f of itself in a region that is left", a.Contract, a.Shares["r10"])
+		}
+	}
+	w.run(5 * time.Minute)
+	w.regions[10].Usable = 1
+	w.st = NewSteer(w.cfg) // a new leader that has seen nothing
+	w.run(w.cfg.Period)
+	calm := w.moved[30]
+	w.run(30*time.Minute - w.cfg.Period)
+	t.Logf("moved in the busiest of the last 20 minutes %.4f, of all; most load %.3f; kept %v of %v", w.restless(40), w.most, w.kept, w.windows)
+	if w.most > 1 || w.restless(40) >= 0.01 || calm > 0 {
+		t.Errorf("most load %.3f; %.4f moved a minute; %.1f by a leader that knew nothing", w.most, w.restless(40), calm)
+	}
+	if a, _ := w.s.Allocation(hopeless.Name); a.Unkept == "" {
+		t.Errorf("%s can't be kept and is not said to be: %+v", hopeless.Name, a)
+	}
+}
+
+// One step with 1,000 contracts that may use all of 12 regions, and all that was seen in a
+// part of time.
+func BenchmarkStep(b *testing.B) {
+	w := newWorld(b, 1000, 12, 12, 0.4)
+	w.run(time.Minute)
+	seen, part := w.seen, w.cfg.slot(w.now)
+	b.ResetTimer()
+	for i := range b.N {
+		for k := range seen {
+			seen[k].Slot = part + int64(i)
+		}
+		w.st.Step(w.now+time.Duration(i)*w.cfg.Part, w.s, seen, w.regions, w.demand)
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// What a member holds that hears all others tell as much as they may of a part.
+func BenchmarkMembers(b *testing.B) {
+	for _, members := range []int{10, 100, 300} {
+		b.Run(fmt.Sprint(members), func(b *testing.B) {
+			w := newWorld(b, 1000, 12, 12, 0.4)
+			for i := range b.N {
+				f, st := NewFleet(w.cfg), NewSteer(w.cfg)
+				before := heap()
+				f.Know(w.s, w.regions)
+				for m := range members {
+					t := NewTally(w.cfg, fmt.Sprint("n", m), w.regions[m%12].Name, 1)
+					t.Know(w.s)
+					t.Turn(w.now)
+					for k := range 4 * w.cfg.Cells { // four times in each of as many pairs as may be told
+						k = k/4 + m*37
+						t.Record(w.now, w.s.Contracts[k%1000].Name, w.regions[k/1000%12].Name, time.Duration(5+k*7%60)*time.Millisecond)
+					}
+					if news, err := f.Merge(w.now, *t.Turn(w.now + w.cfg.Part)); !news || err != nil {
+						b.Fatal(news, err)
+					}
+				}
+				held := heap() - before
+				start := time.Now()
+				seen := f.Turn(w.now + 3*w.cfg.Part)
+				fold := time.Since(start)
+				for slot := range int64(w.cfg.Parts) {
+					for k := range seen {
+						seen[k].Slot += min(slot, 1)
+					}
+					st.Take(w.s, seen)
+				}
+				if i == 0 {
+					b.ReportMetric(held, "B/part")
+					b.ReportMetric(float64(fold.Microseconds())/1000, "ms/fold")
+					n := len(seen)
+					seen = nil
+					b.ReportMetric(float64(n), "seen/part")
+					b.ReportMetric(heap()-before, "B/steer")
+				}
+				runtime.KeepAlive(st)
+			}
+		})
+	}
+}
+
+// A node that measures every pair there is.
+func BenchmarkTally(b *testing.B) {
+	w := newWorld(b, 1000, 12, 12, 0.4)
+	w.cfg.Cells = mostCells
+	t := NewTally(w.cfg, "n", "z", 1)
+	t.Know(w.s)
+	t.Turn(w.now)
+	before := heap()
+	i := 0
+	for ; i < 60000; i++ {
+		t.Record(w.now, w.s.Contracts[i%1000].Name, w.regions[i/1000%12].Name, time.Duration(5+i*7%60)*time.Millisecond)
+	}
+	pair := (heap() - before) / float64(len(t.cells))
+	for b.Loop() {
+		t.Record(w.now, w.s.Contracts[i%1000].Name, "r00", 20*time.Millisecond)
+		i++
+	}
+	b.ReportMetric(pair, "B/pair")
+}
--- /dev/null
+++ b/internal/fleet/promise/merge_test.go
@@ -0,0 +1,133 @@
+package promise
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const begin = 1_000_000 * 5 * time.Second
+
+func fleetOf(names ...string) *Fleet {
+	f := NewFleet(Default())
+	var s State
+	for _, n := range names {
+		s.Contracts = append(s.Contracts, Contract{Name: n})
+	}
+	f.Know(s, []Region{{Name: "a"}, {Name: "b"}})
+	return f
+}
+
+// measured is a member's sample of n times in the part at begin.
+func measured(member string, boot int64, took time.Duration, n int) Sample {
+	t := NewTally(Default(), member, "z", boot)
+	t.Know(State{Contracts: []Contract{{Name: "k"}}})
+	t.Turn(begin)
+	for range n {
+		t.Record(begin, "k", "a", took)
+	}
+	return *t.Turn(begin + 5*time.Second)
+}
+
+// Merging is the same in any order, and as often as one likes.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var samples []Sample
+		for range rapid.IntRange(1, 8).Draw(t, "samples") {
+			member, boot, seq := rapid.IntRange(0, 3).Draw(t, "member"), rapid.IntRange(1, 2).Draw(t, "boot"), rapid.IntRange(1, 3).Draw(t, "seq")
+			s := measured(fmt.Sprint("n", member), int64(boot), time.Duration(member+7*boot+50*seq)*time.Millisecond, member+boot+seq) // one number, one word
+			s.Seq = uint64(seq)
+			samples = append(samples, s)
+		}
+		one, other := fleetOf("k"), fleetOf("k")
+		for _, s := range samples {
+			one.Merge(begin, s)
+		}
+		for _, s := range rapid.Permutation(append(slices.Clone(samples), samples...)).Draw(t, "order") {
+			other.Merge(begin, s)
+		}
+		a, b := one.Turn(begin+15*time.Second), other.Turn(begin+15*time.Second)
+		if len(a) == 0 || !reflect.DeepEqual(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+		if one.Turn(begin+20*time.Second) != nil {
+			t.Fatal("handed out twice")
+		}
+		if news, _ := one.Merge(begin+15*time.Second, samples[0]); news {
+			t.Fatal("taken after its part was handed out")
+		}
+	})
+}
+
+// A sound histogram comes out as it went in, a member that lies counts three times the
+// median at most, and what can't be true is refused by name.
+func TestLies(t *testing.T) {
+	f := fleetOf("k")
+	for i := range 4 {
+		f.Merge(begin, measured(fmt.Sprint("n", i), 1, 20*time.Millisecond, 10))
+	}
+	liar := measured("liar", 1, time.Minute, 500)
+	if news, err := f.Merge(begin, liar); !news || err != nil {
+		t.Fatal(news, err)
+	}
+	seen := f.Turn(begin + 15*time.Second)
+	if len(seen) != 1 || seen[0].Members != 5 || seen[0].Hist.All() != 70 || seen[0].Hist.Over(50*time.Millisecond) != 30 {
+		t.Errorf("%+v", seen)
+	}
+	for want, f := range map[string]func(*Sample){
+		"region 3":       func(s *Sample) { s.Cells = []Cell{{"k", 3, liar.Cells[0].Hist}} },
+		"no histogram":   func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{10, 0}}} },
+		"or a second":    func(s *Sample) { s.Cells = []Cell{s.Cells[0], s.Cells[0]} },
+		"cells, at most": func(s *Sample) { s.Cells = slices.Repeat(s.Cells, 1025) },
+		"no histogram, ": func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{10, 0xff, 0xff, 0xff, 0x7f}}} }, // absurd
+		"contract \"k\"": func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{0xff, 0xff, 0xff, 1, 1}}} },     // past the longest
+	} {
+		bad := measured("n9", 1, time.Second, 1)
+		f(&bad)
+		if _, err := fleetOf("k").Merge(begin, bad); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "n9") {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
+// What there is no room for is the least used of the least priority.
+func TestDroppedFirst(t *testing.T) {
+	cfg := Default()
+	cfg.Cells = 3
+	tally := NewTally(cfg, "n", "z", 1)
+	tally.Know(State{Contracts: []Contract{{Name: "high"}, {Name: "low", Priority: 9}}})
+	tally.Turn(begin)
+	for region, n := range map[string]int{"a": 2, "b": 5} {
+		for range n {
+			tally.Record(begin, "low", region, time.Millisecond)
+			tally.Record(begin, "high", region, time.Millisecond)
+			tally.Record(begin, "unknown", region, time.Millisecond)
+		}
+	}
+	s := tally.Turn(begin + cfg.Part)
+	var got []string
+	for _, c := range s.Cells {
+		got = append(got, c.Contract+s.Regions[c.Region])
+	}
+	if want := []string{"highb", "higha", "lowb"}; !slices.Equal(got, want) || s.Dropped != 1 {
+		t.Errorf("%v, %d dropped", got, s.Dropped)
+	}
+}
+
+// The bound's own bucket counts as over it, whatever the bound.
+func TestOver(t *testing.T) {
+	for _, ms := range []int{1, 20, 31, 32, 33, 47, 63, 64, 100, 1000} {
+		bound := time.Duration(ms) * time.Millisecond
+		if over := measured("n", 1, bound+time.Microsecond, 3).Cells[0].Hist.Over(bound); over != 3 {
+			t.Errorf("just over %v: %d of 3 are over", bound, over)
+		}
+		if over := measured("n", 1, bound*15/16-time.Millisecond, 3).Cells[0].Hist.Over(bound); over != 0 {
+			t.Errorf("a sixteenth and 1 ms under %v: %d of 3 are over", bound, over)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/promise/state_test.go
@@ -0,0 +1,107 @@
+package promise
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func contract(name string) Contract {
+	return Contract{Name: name, Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Window: time.Minute, Share: 0.99, Zones: []string{"a", "b"}}
+}
+
+func may(holder string) error {
+	if holder != "acme" {
+		return errors.New("not yours")
+	}
+	return nil
+}
+
+func TestApply(t *testing.T) {
+	with := func(f func(*Contract)) Change {
+		c := contract("x")
+		f(&c)
+		return Change{Base: 1, Set: []Contract{c}}
+	}
+	steer := func(f func(*Allocation)) Change {
+		a := Allocation{Contract: "k", Shares: map[string]float64{"a": 0.25, "b": 0.75}}
+		f(&a)
+		return Change{Base: 1, Steer: []Allocation{a}}
+	}
+	s, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, may)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		name, err string
+		c         Change
+	}{
+		{"another one", "", with(func(*Contract) {})},
+		{"decided on another state", "version 7", Change{Base: 7, Drop: []string{"k"}}},
+		{"nothing", "changes nothing", Change{Base: 1}},
+		{"both", "one of both", Change{Base: 1, Drop: []string{"k"}, Steer: []Allocation{{}}}},
+		{"somebody else's", "not yours", with(func(c *Contract) { c.Holder = "other" })},
+		{"no such", "there is none", Change{Base: 1, Drop: []string{"x"}}},
+		{"no exception", "share", with(func(c *Contract) { c.Share = 1 })},
+		{"never", "bound", with(func(c *Contract) { c.Bound = 0 })},
+		{"zones twice", "zones", with(func(c *Contract) { c.Zones = []string{"a", "a"} })},
+		{"dropped", "", Change{Base: 1, Drop: []string{"k"}}},
+		{"steered", "", steer(func(*Allocation) {})},
+		{"steered by halves of thousandths", "", steer(func(a *Allocation) { a.Shares = map[string]float64{"a": 0.2503, "b": 0.7497} })},
+		{"steered after another step", "step 3", func() Change { c := steer(func(*Allocation) {}); c.After = 3; return c }()},
+		{"too little", "add up", steer(func(a *Allocation) { a.Shares["a"] = 0.2 })},
+		{"below nothing", "a share is", steer(func(a *Allocation) { a.Shares["a"], a.Shares["b"] = -0.5, 1.5 })},
+		{"a zone that it may not use", `zone "c"`, steer(func(a *Allocation) { a.Shares = map[string]float64{"c": 1} })},
+	} {
+		before := fmt.Sprint(s)
+		next, err := s.Apply(tt.c, 5, may)
+		if tt.err == "" && err != nil || tt.err != "" && (err == nil || !strings.Contains(err.Error(), tt.err)) {
+			t.Errorf("%s: %v, want %q", tt.name, err, tt.err)
+		}
+		if err != nil && !reflect.DeepEqual(next, s) || fmt.Sprint(s) != before {
+			t.Errorf("%s: changed what it was applied to", tt.name)
+		}
+	}
+}
+
+// However entries and their clocks follow one another, a contract is steered twice at most
+// within a minute of the entries' own time.
+func TestSteeredTwiceAMinute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, _ := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, may)
+		var taken []int64
+		for at := int64(100_000); len(taken) < 6; {
+			at += int64(rapid.IntRange(-20_000, 60_000).Draw(t, "later"))
+			next, err := s.Apply(Change{Base: 1, After: s.Steps, Steer: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), may)
+			if err != nil {
+				continue
+			}
+			s = next
+			if taken = append(taken, s.Steered[0].Since); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < spell {
+				t.Fatalf("steered at %v", taken)
+			}
+		}
+	})
+}
+
+func TestVerdict(t *testing.T) {
+	cfg := Default()
+	for _, tt := range []struct {
+		all, over, quantile float64
+		members             int
+		want                verdict
+	}{
+		{0, 0, 0.95, 9, unknown}, {20, 0, 0.95, 9, unknown}, {75, 0, 0.95, 9, unknown}, {76, 0, 0.95, 9, keeps},
+		{380, 0, 0.99, 9, unknown}, {397, 0, 0.99, 9, keeps}, {4, 2, 0.95, 9, breaks}, {20, 2, 0.95, 9, unknown},
+		{1000, 50, 0.95, 9, unknown}, {1000, 70, 0.95, 9, breaks}, {1000, 30, 0.95, 9, keeps}, {1000, 999, 0.95, 1, unknown},
+	} {
+		if got := judge(&cfg, Guards{}, tt.all, tt.over, tt.quantile, tt.members); got != tt.want {
+			t.Errorf("%v of %v over, %d members: %v, want %v", tt.over, tt.all, tt.members, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/promise/types.go
@@ -0,0 +1,77 @@
+// Package promise decides which regions serve whom, so that contracts on response times
+// are kept. It does no I/O, reads no clock and starts no goroutine. docs/notes/promises.md
+// weighs the options and derives the bounds.
+//
+// A node counts response times in a Tally and tells them as Samples; a Fleet merges those of
+// all members and hands out what was Seen in each part of time that is over; a Steer judges
+// it and, at the leader, proposes Changes of the record's State.
+package promise
+
+import (
+	"fmt"
+	"time"
+)
+
+// Contract promises an account or a route its response times.
+type Contract struct {
+	Name     string        `json:"name"`
+	Holder   string        `json:"holder"`   // path of an account or team, or of a route
+	Quantile float64       `json:"quantile"` // such as 0.95
+	Bound    time.Duration `json:"bound"`    // of set-ups, or of messages
+	Messages bool          `json:"messages,omitempty"`
+	Window   time.Duration `json:"window"`
+	Share    float64       `json:"share"`    // of windows in which the bound must hold
+	Priority int           `json:"priority"` // the lower goes first
+	Zones    []string      `json:"zones,omitempty"`
+}
+
+// Allocation is where a contract's transactions go: shares of zones that add up to 1.
+type Allocation struct {
+	Contract string             `json:"contract"`
+	Shares   map[string]float64 `json:"shares"`           // in whole thousandths
+	Since    int64              `json:"since"`            // Unix ms
+	Before   int64              `json:"before,omitempty"` // Unix ms: when it was steered the time before
+	Over     float64            `json:"over,omitempty"`   // of its set-ups, those that its regions have no room for
+	Unkept   string             `json:"unkept,omitempty"` // why it can't be kept; empty where it can
+}
+
+const (
+	mostContracts = 4096
+	mostZones     = 64
+	mille         = 1000
+)
+
+func word(s string, most int) bool { return s != "" && len(s) <= most }
+
+// check names the field that makes a contract one that can't be held to.
+func (c *Contract) check() error {
+	between := func(x, least, most float64) bool { return x >= least && x <= most }
+	bad := ""
+	switch {
+	case !word(c.Name, 64):
+		bad = "name: 1 to 64 bytes"
+	case !word(c.Holder, 256):
+		bad = "holder: 1 to 256 bytes"
+	case !between(c.Quantile, 0.5, 0.9999):
+		bad = "quantile: 0.5 to 0.9999"
+	case c.Bound < time.Millisecond || c.Bound > longest || c.Bound%time.Millisecond != 0:
+		bad = fmt.Sprint("bound: whole milliseconds up to ", longest)
+	case c.Window < 5*time.Second || c.Window > 10*time.Minute:
+		bad = "window: 5s to 10m"
+	case !between(c.Share, 0.5, 0.9999):
+		bad = "share: 0.5 to 0.9999, as a promise without an exception is broken by the first"
+	case c.Priority < 0 || c.Priority > 1000:
+		bad = "priority: 0 to 1000"
+	case len(c.Zones) > mostZones:
+		bad = fmt.Sprintf("zones: %d, at most %d", len(c.Zones), mostZones)
+	}
+	for i, z := range c.Zones {
+		if !word(z, 64) || i > 0 && c.Zones[i-1] >= z {
+			bad = fmt.Sprintf("zones: %.64q: names of 1 to 64 bytes, sorted, each once", z)
+		}
+	}
+	if bad != "" {
+		return fmt.Errorf("contract %.64q: %s", c.Name, bad)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/record/cipher_test.go
@@ -0,0 +1,96 @@
+package record
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// pair returns both ends of a connection, each with its key.
+func pair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *conn) {
+	a, b := net.Pipe()
+	for _, c := range []net.Conn{a, b} {
+		_ = c.SetDeadline(time.Now().Add(patience))
+	}
+	done := make(chan error, 1)
+	go func() {
+		var err error
+		called, err = greet(b, []byte(calledKey), false)
+		done <- err
+	}()
+	caller, err := greet(wire(a), []byte(callerKey), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	return caller, called
+}
+
+func same(c net.Conn) net.Conn { return c }
+
+// What is said comes out as it was, in whatever parts it is said and read.
+func TestFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := pair(t, "0123456789abcdef", "0123456789abcdef", same)
+		defer func() { _, _ = a.Close(), b.Close() }()
+		parts := rapid.SliceOfN(rapid.IntRange(0, 3*frameMost), 1, 5).Draw(t, "parts")
+		seed := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "seed")
+		var want []byte
+		go func() {
+			for i, n := range parts {
+				_, _ = a.Write(bytes.Repeat(seed, n/len(seed)+i))
+			}
+			_ = a.Close()
+		}()
+		for i, n := range parts {
+			want = append(want, bytes.Repeat(seed, n/len(seed)+i)...)
+		}
+		got, _ := io.ReadAll(io.LimitReader(b, int64(len(want))))
+		if !bytes.Equal(got, want) {
+			t.Fatalf("%d bytes came of %d, or others", len(got), len(want))
+		}
+	})
+}
+
+// spoiling flips one bit of what is written after the greeting.
+type spoiling struct {
+	net.Conn
+	at, written int
+}
+
+func (s *spoiling) Write(p []byte) (int, error) {
+	if at := s.at - s.written; at >= 0 && at < len(p) {
+		p = bytes.Clone(p)
+		p[at] ^= 4
+	}
+	s.written += len(p)
+	return s.Conn.Write(p)
+}
+
+// Not a byte comes out of a frame that was changed on its way, or sealed with another key.
+func TestFramesSpoilt(t *testing.T) {
+	const greeting = len(magic) + nonceSize
+	text := []byte("an entry of the record")
+	cases := map[string]struct {
+		key string
+		at  int
+	}{"key": {"another key, as long", -1}, "length": {"", greeting + 1}, "text": {"", greeting + 5}, "tag": {"", greeting + 2 + len(text)}}
+	for name, c := range cases {
+		key := "0123456789abcdef"
+		if c.key == "" {
+			c.key = key
+		}
+		a, b := pair(t, c.key, key, func(n net.Conn) net.Conn { return &spoiling{Conn: n, at: c.at} })
+		go func() { _, _ = a.Write(text); _ = a.Close() }()
+		if got, err := io.ReadAll(b); err == nil || len(got) > 0 {
+			t.Errorf("%s: %q came out, %v", name, got, err)
+		}
+		_, _ = a.Close(), b.Close()
+	}
+}
--- /dev/null
+++ b/internal/fleet/record/cluster_test.go
@@ -0,0 +1,184 @@
+package record
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/zone"
+)
+
+// patience is how long a test waits for an event before it fails.
+const patience = 10 * time.Second
+
+var nets atomic.Int32
+
+// fleet is members in one process, on loopback addresses of the test's own.
+type fleet struct {
+	t       *testing.T
+	voters  []Voter
+	members map[string]*member
+}
+
+type member struct {
+	*Record
+	o    Options
+	full atomic.Bool // its disk
+	end  context.CancelFunc
+	done chan struct{}
+}
+
+func newFleet(t *testing.T, voters int) *fleet {
+	f := &fleet{t: t, members: map[string]*member{}}
+	n, pid := nets.Add(1), os.Getpid()
+	for i := range voters {
+		f.voters = append(f.voters, Voter{Name: fmt.Sprintf("v%d", i), Zone: fmt.Sprintf("z%d", i),
+			Addr: fmt.Sprintf("127.%d.%d.%d:%d", 100+pid/256%100, pid%256, i+1, 2000+32*int(n))})
+	}
+	for _, v := range f.voters {
+		f.start(v.Name, v.Addr, nil)
+	}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			m.kill()
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(name, bind string, edit func(*Options)) *member {
+	f.t.Helper()
+	m := &member{done: make(chan struct{})}
+	m.o = Options{Name: name, Dir: filepath.Join(f.t.TempDir(), name), Bind: bind, Voters: f.voters, Key: []byte("0123456789abcdef"),
+		Fault: func(op string) error {
+			if m.full.Load() {
+				return errors.New("disk full")
+			}
+			return nil
+		}}
+	if edit != nil {
+		edit(&m.o)
+	}
+	r, err := Open(m.o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	m.Record = r
+	ctx, end := context.WithCancel(context.Background())
+	m.end = end
+	go func() { defer close(m.done); _ = r.Run(ctx) }()
+	f.members[name] = m
+	return m
+}
+
+func (m *member) kill() { m.end(); <-m.done }
+
+// again starts a member that was killed, on the same disk.
+func (f *fleet) again(m *member, edit func(*Options)) *member {
+	return f.start(m.o.Name, m.o.Bind, func(o *Options) {
+		o.Dir = m.o.Dir
+		if edit != nil {
+			edit(o)
+		}
+	})
+}
+
+// until waits for a member's view.
+func (f *fleet) until(m *member, what string, ok func(View) bool) View {
+	f.t.Helper()
+	for deadline := time.After(patience); ; {
+		woken := m.Changed()
+		if v := m.View(); ok(v) {
+			return v
+		}
+		select {
+		case <-woken:
+		case <-deadline:
+			v := m.View()
+			f.t.Fatalf("%s: not %s; index %d, %+v", m.o.Name, what, v.State.Index, v)
+		}
+	}
+}
+
+// leader waits for one that is ready, other than those named.
+func (f *fleet) leader(not ...*member) *member {
+	f.t.Helper()
+	found := make(chan *member, len(f.voters))
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer close(stop)
+	for _, v := range f.voters {
+		m := f.members[v.Name]
+		skip := false
+		for _, n := range not {
+			skip = skip || n == m
+		}
+		if skip {
+			continue
+		}
+		wg.Go(func() {
+			for {
+				woken := m.Changed()
+				if v := m.View(); m.Leads() && v.Fresh {
+					found <- m
+					return
+				}
+				select {
+				case <-woken:
+				case <-stop:
+					return
+				}
+			}
+		})
+	}
+	select {
+	case m := <-found:
+		return m
+	case <-time.After(patience):
+		f.t.Fatal("no leader")
+		return nil
+	}
+}
+
+// change is an entry that is taken on a version; each makes the next version.
+func change(version uint64) entry.Entry {
+	body, _ := json.Marshal(zone.Change{Base: version, Zones: []string{"z0", "z1", "z2"}, Over: float64(version%2+1) / 4})
+	return entry.Entry{Kind: entry.Zones, By: "test", Body: body}
+}
+
+func (f *fleet) propose(m *member) entry.Outcome {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := m.Propose(ctx, change(f.leader().View().State.Zones.Version))
+	if err != nil || !out.Taken {
+		f.t.Fatalf("%s: proposed: %+v, %v", m.o.Name, out, err)
+	}
+	return out
+}
+
+func (f *fleet) all(what string, ok func(View) bool) {
+	f.t.Helper()
+	for _, m := range f.members {
+		f.until(m, what, ok)
+	}
+}
+
+func follower(f *fleet, n int) *member {
+	at := netip.MustParseAddrPort(f.voters[0].Addr)
+	return f.start(fmt.Sprintf("f%d", n), netip.AddrPortFrom(at.Addr(), at.Port()+uint16(n)).String(), nil)
+}
+
+func reached(n uint64) func(View) bool {
+	return func(v View) bool { return v.State.Index >= n && v.Fresh }
+}
--- /dev/null
+++ b/internal/fleet/record/follow_test.go
@@ -0,0 +1,192 @@
+package record
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+)
+
+func TestCheckVoters(t *testing.T) {
+	set := func(zones ...string) (v []Voter) {
+		for i, z := range zones {
+			v = append(v, Voter{Name: fmt.Sprint("v", i), Addr: fmt.Sprintf("127.0.0.%d:7000", i+1), Zone: z})
+		}
+		return v
+	}
+	twice := set("a", "b", "c")
+	twice[2].Addr = twice[0].Addr
+	for want, voters := range map[string][]Voter{
+		"":                               set("a", "b", "c"),
+		"zone a holds 2 of 3":            set("a", "a", "b"),
+		"zone b holds 3 of 5":            set("a", "b", "b", "c", "b"),
+		"4, want 3 or 5":                 set("a", "b", "c", "d"),
+		"address 127.0.0.1:7000 stands":  twice,
+		`name ""`:                        append(set("a", "b"), Voter{Addr: "127.0.0.9:1"}),
+		"v2: address nowhere: missing p": append(set("a", "b"), Voter{Name: "v2", Addr: "nowhere"}),
+	} {
+		err := CheckVoters(voters)
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), "fleet.record.voters: "+want) {
+			t.Errorf("%v: %v, want %q", voters, err, want)
+		}
+	}
+	for _, fine := range [][]Voter{set("a", "a", "a"), set("", "", ""), set("a", "a", "b", "b", "c")} {
+		if err := CheckVoters(fine); err != nil {
+			t.Errorf("%v: %v", fine, err)
+		}
+	}
+}
+
+// However many members there are, all find room where none feeds more than fan. Once those
+// nearer to the leader have their place, no word makes more than four hops.
+func TestFanOut(t *testing.T) {
+	for _, c := range []struct{ voters, peers int }{{3, 1}, {3, 24}, {3, 150}, {3, 300}, {5, 300}} {
+		for _, sorted := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d+%d/%v", c.voters, c.peers, sorted), func(t *testing.T) { fanOut(t, c.voters, c.peers, sorted) })
+		}
+	}
+}
+
+func fanOut(t *testing.T, v, n int, sorted bool) {
+	voters, peers, most := make([]Voter, v), make([]Peer, n), mostPath
+	for i := range voters {
+		voters[i] = Voter{Name: fmt.Sprint("v", i), Addr: "x"}
+	}
+	for i := range peers {
+		peers[i] = Peer{Name: fmt.Sprint("m", i), Addr: "x"}
+	}
+	if sorted {
+		most = 4
+		slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(weight(a.Name), weight(b.Name)) })
+	}
+	hops, feeds, lists := map[string]int{"v0": 0}, map[string]int{}, map[string][]Peer{}
+	for _, v := range voters[1:] {
+		if list, suit := order(v.Name, voters, peers, "v0"); list[0].Name != "v0" || suit != 1 {
+			t.Fatalf("voter %s asks %s first", v.Name, list[0].Name)
+		}
+		hops[v.Name] = 1
+	}
+	for _, p := range peers {
+		lists[p.Name], _ = order(p.Name, voters, peers, "v0")
+	}
+	for left := n; left > 0; { // whose upstream is fed already takes his place
+		before := left
+		for _, p := range peers {
+			if _, fed := hops[p.Name]; fed {
+				continue
+			}
+			for _, up := range lists[p.Name] {
+				if h, fed := hops[up.Name]; fed && feeds[up.Name] < fan && h < most {
+					hops[p.Name], feeds[up.Name], left = h+1, feeds[up.Name]+1, left-1
+					break
+				}
+			}
+		}
+		if left == before {
+			t.Fatalf("%d find no upstream", left)
+		}
+	}
+	if sorted && n < 16 && feeds["v0"] > 0 {
+		t.Errorf("the leader feeds %d, though others have room", feeds["v0"])
+	}
+}
+
+// Whoever has not the key hears nothing, and keeps nobody from deciding.
+func TestStrangers(t *testing.T) {
+	f := newFleet(t, 3)
+	lead := f.leader()
+	var idle []net.Conn
+	for range 3 * mostShaking {
+		c, err := net.Dial("tcp", lead.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		idle = append(idle, c)
+	}
+	stranger := follower(f, 1)
+	stranger.kill()
+	stranger = f.again(stranger, func(o *Options) { o.Key = []byte("fedcba9876543210") })
+	out := f.propose(f.members["v0"])
+	for _, v := range f.voters {
+		f.until(f.members[v.Name], "at the entry", reached(out.Index))
+	}
+	if v := stranger.View(); v.State.Index != 0 || v.Fresh {
+		t.Errorf("the stranger knows of %d entries", v.State.Index)
+	}
+	_ = idle[0].SetReadDeadline(time.Now().Add(patience))
+	if n, err := idle[0].Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Error("an idle stranger was told something")
+	}
+}
+
+// A follower whose chain is another is refused by all, and says that it hears nothing.
+func TestForked(t *testing.T) {
+	f := newFleet(t, 3)
+	a := follower(f, 1)
+	f.leader()
+	out := f.propose(a)
+	f.all("at the entry", reached(out.Index))
+	a.kill()
+	forkedState, _ := a.first.Apply([]byte("an entry that was never committed"))
+	a.hub.view.Store(&View{State: forkedState})
+	a.state.written = 0
+	a.state.st = nil
+	a.state.write()
+	_ = a.state.st.Close()
+	a = f.again(a, nil)
+	h := hello{Name: "f1", Index: forkedState.Index, Hash: forkedState.Hash}
+	for _, v := range f.voters {
+		if refused := f.members[v.Name].admit(&h, &conn{}); refused == nil || refused.Why != forked {
+			t.Errorf("%s: %+v", v.Name, refused)
+		}
+	}
+	last := f.propose(f.members["v0"])
+	f.until(f.members["v1"], "at the next", reached(last.Index))
+	if v := a.View(); v.State.Hash != forkedState.Hash || v.Fresh {
+		t.Errorf("%+v", v)
+	}
+	bad := entry.Hash{1}
+	before := f.members["v1"].View().State.Index
+	text := append(append([]byte{0, 0, 0, 0, 0, 0, 0, byte(before + 1)}, bad[:]...), "{}"...)
+	if err := f.members["v1"].takeEntry(text); err == nil || f.members["v1"].View().State.Index != before {
+		t.Errorf("an entry of another chain: %v", err)
+	}
+}
+
+// A member that feeds as many as it may names them to the next; voters it feeds all the same.
+func TestFull(t *testing.T) {
+	voters := []Voter{{Name: "a", Addr: "x:1"}, {Name: "b", Addr: "x:2"}, {Name: "c", Addr: "x:3"}}
+	r, err := Open(Options{Name: "f", Dir: t.TempDir(), Bind: "127.0.0.1:0", Voters: voters, Key: []byte("0123456789abcdef")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = r.port.Close(), r.state.st.Close() })
+	names := append(make([]string, 0, fan+4), "a", "b")
+	for i := range fan {
+		names = append(names, fmt.Sprint("m", i))
+	}
+	for _, name := range names {
+		if refused := r.admit(&hello{Name: name, Addr: "at " + name, Hash: r.first.Hash}, &conn{}); refused != nil {
+			t.Fatalf("%s: %+v", name, refused)
+		}
+	}
+	refused := r.admit(&hello{Name: "late", Hash: r.first.Hash}, &conn{})
+	if refused == nil || len(refused.Others) != fan || refused.Others[0].Addr != "at "+refused.Others[0].Name {
+		t.Errorf("one too many: %+v", refused)
+	}
+	if refused := r.admit(&hello{Name: "c", Hash: r.first.Hash}, &conn{}); refused != nil {
+		t.Errorf("a voter: %+v", refused)
+	}
+	if refused := r.admit(&hello{Name: "d", Index: 1}, &conn{}); refused == nil || refused.Why != "behind" {
+		t.Errorf("one who knows more: %+v", refused)
+	}
+	if n := r.View().Serves; n != len(names)+1 {
+		t.Errorf("serves %d", n)
+	}
+}
--- /dev/null
+++ b/internal/fleet/record/message.go
@@ -0,0 +1,117 @@
+package record
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"coralrelay/internal/fleet/entry"
+)
+
+// What a connection is for: the first byte that the caller says.
+const (
+	forRaft    = 'R'
+	forFollow  = 'F'
+	forPropose = 'P'
+	forAsk     = 'A'
+)
+
+// Kinds of message after that, on all but raft's connections: a byte, four of length, and
+// so much text.
+const (
+	msgHello   = 'h' // JSON: hello
+	msgNo      = 'n' // JSON: no
+	msgEntry   = 'e' // eight bytes of index, the chain's hash after it, the entry
+	msgState   = 's' // a whole state: its sum, and JSON
+	msgBeat    = 'b' // JSON: beat
+	msgPropose = 'p' // an entry
+	msgAnswer  = 'a' // JSON: answer
+	msgAsk     = 'q' // JSON: ask
+	msgMine    = 'm' // JSON: mine
+)
+
+// Bounds on what is read.
+const (
+	mostState = 64 << 20
+	mostShort = 64 << 10
+	mostEntry = entry.Largest + 8 + len(entry.Hash{})
+)
+
+// hello is a follower's first word.
+type hello struct {
+	Name  string     `json:"name"`
+	Addr  string     `json:"addr"`
+	Index uint64     `json:"index"`
+	Hash  entry.Hash `json:"hash"`
+}
+
+// no turns a follower away.
+type no struct {
+	Why    string `json:"why"`
+	Others []Peer `json:"others,omitempty"` // who may have room
+}
+
+// beat says how old the word is that all up to here rests on.
+type beat struct {
+	Age    int64    `json:"a"`           // microseconds; negative if nothing was ever heard
+	Leader string   `json:"l,omitempty"` // as the server knows it
+	Path   []string `json:"p"`           // of the word: from the leader to the server
+}
+
+// answer is what became of a proposal.
+type answer struct {
+	Outcome entry.Outcome `json:"outcome"`
+	Fault   string        `json:"fault,omitempty"`  // empty where Outcome counts
+	Unknown bool          `json:"unknown"`          // it may or may not become part of the log
+	Leader  string        `json:"leader,omitempty"` // of who does not lead: who does, if known
+}
+
+func say(w io.Writer, kind byte, parts ...[]byte) error {
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	b := make([]byte, 0, 5+size)
+	b = binary.BigEndian.AppendUint32(append(b, kind), uint32(size))
+	for _, p := range parts {
+		b = append(b, p...)
+	}
+	_, err := w.Write(b)
+	return err
+}
+
+func sayJSON(w io.Writer, kind byte, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return say(w, kind, b)
+}
+
+// hear reads one message of at most so many bytes.
+func hear(r io.Reader, most int) (kind byte, text []byte, err error) {
+	var head [5]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	size := binary.BigEndian.Uint32(head[1:])
+	if uint64(size) > uint64(most) {
+		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are taken", head[0], size, most)
+	}
+	text = make([]byte, size)
+	_, err = io.ReadFull(r, text)
+	return head[0], text, err
+}
+
+// hearJSON reads a message of that kind.
+func hearJSON(r io.Reader, want byte, v any) error {
+	kind, text, err := hear(r, mostShort)
+	if err != nil {
+		return err
+	}
+	if kind != want {
+		return fmt.Errorf("message %q, want %q", kind, want)
+	}
+	return json.Unmarshal(text, v)
+}
--- /dev/null
+++ b/internal/fleet/record/options.go
@@ -0,0 +1,140 @@
+// Package record keeps what the fleet decides as one: a replicated log of entries on
+// hashicorp/raft, the state that they add up to, and the ways by which every member hears
+// of a committed entry. Three or five voters agree; all others follow. How it is cut, its
+// bounds and what was weighed are in docs/notes/record.md.
+package record
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+)
+
+// Voter is one of the members that agree on entries.
+type Voter struct{ Name, Addr, Zone string }
+
+// Peer is a member that serves the record, as gossip tells.
+type Peer struct {
+	Name, Addr string
+	Index      uint64
+}
+
+// Guards can be taken out one by one, so that a rig can show that its checks see it.
+type Guards struct {
+	Commit bool // apply a proposal before it is committed
+	Chain  bool // take entries whose chain of hashes does not agree
+	Sync   bool // don't wait for the disk
+	Stale  bool // always say that the word is fresh
+}
+
+// Options say how a member takes part.
+type Options struct {
+	Name      string // unique in the fleet; who is among Voters votes
+	Zone      string
+	Dir       string // for its files
+	Bind      string // HOST:PORT, TCP; calls go out from the same address
+	Advertise string // where the others reach it, if that is elsewhere
+	Voters    []Voter
+	Key       []byte // the fleet's; 16 bytes at least
+	Genesis   entry.Genesis
+	Lease     time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
+	Peers     func() []Peer // nil where only the voters are known
+	Log       io.Writer     // raft's own lines, each with [DEBUG] in front
+	Ignore    Guards
+	Fault     func(op string) error // asked before each write to the disk, for tests; may be nil
+}
+
+const (
+	defaultLease = 2 * time.Second
+	leastLease   = 200 * time.Millisecond
+	leastKey     = 16
+	longestName  = 64
+)
+
+// check fills in what was left out and names the key that can't be worked with.
+func (o *Options) check() error {
+	if o.Lease == 0 {
+		o.Lease = defaultLease
+	}
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	if o.Peers == nil {
+		o.Peers = func() []Peer { return nil }
+	}
+	if o.Fault == nil {
+		o.Fault = func(string) error { return nil }
+	}
+	switch {
+	case o.Name == "" || len(o.Name) > longestName:
+		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", o.Name, longestName)
+	case o.Dir == "":
+		return errors.New("fleet.record.dir: empty, want a folder")
+	case len(o.Key) < leastKey:
+		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(o.Key), leastKey)
+	case o.Lease < leastLease:
+		return fmt.Errorf("fleet.record.lease: %v, want %v at least", o.Lease, leastLease)
+	}
+	if _, err := netip.ParseAddrPort(o.Bind); err != nil {
+		return fmt.Errorf("fleet.record.bind: %w", err)
+	}
+	return CheckVoters(o.Voters)
+}
+
+// CheckVoters tells whether a set of voters can be worked with: 3 or 5, and where zones are
+// told apart no zone with a majority.
+func CheckVoters(voters []Voter) error {
+	bad := func(format string, args ...any) error {
+		return fmt.Errorf("fleet.record.voters: "+format, args...)
+	}
+	if n := len(voters); n != 3 && n != 5 {
+		return bad("%d, want 3 or 5", n)
+	}
+	seen, zones := map[string]bool{}, map[string]int{}
+	for _, v := range voters {
+		if v.Name == "" || len(v.Name) > longestName {
+			return bad("name %q, want 1 to %d bytes", v.Name, longestName)
+		}
+		if _, _, err := net.SplitHostPort(v.Addr); err != nil {
+			return bad("%s: %w", v.Name, err)
+		}
+		for _, key := range []string{"name " + v.Name, "address " + v.Addr} {
+			if seen[key] {
+				return bad("%s stands twice", key)
+			}
+			seen[key] = true
+		}
+		if v.Zone != "" {
+			zones[v.Zone]++
+		}
+	}
+	for _, v := range voters {
+		if len(zones) > 1 && zones[v.Zone] > len(voters)/2 && v.Zone != "" {
+			return bad("zone %s holds %d of %d, a majority", v.Zone, zones[v.Zone], len(voters))
+		}
+	}
+	return nil
+}
+
+// voter returns the voter of that name.
+func (o *Options) voter(name string) (Voter, bool) {
+	for _, v := range o.Voters {
+		if v.Name == name {
+			return v, true
+		}
+	}
+	return Voter{}, false
+}
+
+// All times follow from the lease. Heartbeats that fail for one to two times beat make an
+// election, which is decided within one more; a leader cut off from the others steps down
+// after half of beat. All of it is each process's own monotonic time: clocks that differ do
+// no harm.
+func (o *Options) beat() time.Duration    { return o.Lease / 5 }
+func (o *Options) pulse() time.Duration   { return o.Lease / 8 } // a leader's word that it still leads
+func (o *Options) silence() time.Duration { return o.Lease / 2 } // an upstream silent for so long is left
--- /dev/null
+++ b/internal/fleet/record/snapshot.go
@@ -0,0 +1,133 @@
+package record
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/hashicorp/raft"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/store"
+)
+
+// snapshot is raft's, whole in memory: states are small. There is one; the next takes its
+// place in one transaction.
+type snapshot struct {
+	Meta raft.SnapshotMeta
+	Data []byte // a sealed state
+}
+
+func (s *snapshot) index() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.Meta.Index
+}
+
+func parseSnapshot(b []byte) (*snapshot, error) {
+	s := &snapshot{}
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if _, err := unsealState(s.Data); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	return s, nil
+}
+
+// sealState writes a state: the sum of its JSON, and that.
+func sealState(s *entry.State) ([]byte, error) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(text)
+	return append(sum[:], text...), nil
+}
+
+func unsealState(b []byte) (*entry.State, error) {
+	if len(b) < sha256.Size || len(b) > mostState {
+		return nil, fmt.Errorf("state: %d bytes", len(b))
+	}
+	if sum := sha256.Sum256(b[sha256.Size:]); !bytes.Equal(sum[:], b[:sha256.Size]) {
+		return nil, errors.New("state: its sum is not good")
+	}
+	s := &entry.State{}
+	if err := entry.Strict(b[sha256.Size:], s); err != nil {
+		return nil, fmt.Errorf("state: %w", err)
+	}
+	return s, nil
+}
+
+// sink takes a snapshot that is being made or received.
+type sink struct {
+	bytes.Buffer
+	d    *disk
+	meta raft.SnapshotMeta
+	done bool
+}
+
+// Create begins a snapshot.
+func (d *disk) Create(version raft.SnapshotVersion, index, term uint64, c raft.Configuration, configIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
+	return &sink{d: d, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
+		Configuration: c, ConfigurationIndex: configIndex}}, nil
+}
+
+// Write takes a part.
+func (s *sink) Write(p []byte) (int, error) {
+	if s.Len()+len(p) > mostState {
+		return 0, fmt.Errorf("snapshot: over %d bytes", mostState)
+	}
+	return s.Buffer.Write(p)
+}
+
+// ID names the snapshot.
+func (s *sink) ID() string { return s.meta.ID }
+
+// Cancel drops it.
+func (s *sink) Cancel() error { s.done = true; return nil }
+
+// Close puts it in the place of the one before.
+func (s *sink) Close() error {
+	if s.done {
+		return nil
+	}
+	s.done = true
+	s.meta.Size = int64(s.Len())
+	made := &snapshot{Meta: s.meta, Data: s.Bytes()}
+	if _, err := unsealState(made.Data); err != nil {
+		return err
+	}
+	text, err := json.Marshal(made)
+	if err != nil {
+		return err
+	}
+	return s.d.update("snapshot", func(tx *store.Tx) error { return tx.Bucket(snapBucket).Put(snapKey, text) },
+		func() { s.d.snap = made })
+}
+
+// List returns the one there is.
+func (d *disk) List() ([]*raft.SnapshotMeta, error) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.snap == nil {
+		return nil, nil
+	}
+	meta := d.snap.Meta
+	return []*raft.SnapshotMeta{&meta}, nil
+}
+
+// Open reads it.
+func (d *disk) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.snap == nil || d.snap.Meta.ID != id {
+		return nil, nil, fmt.Errorf("snapshot %q: not kept", id)
+	}
+	meta := d.snap.Meta
+	return &meta, io.NopCloser(bytes.NewReader(d.snap.Data)), nil
+}
--- /dev/null
+++ b/internal/fleet/record/statefile.go
@@ -0,0 +1,161 @@
+package record
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"path/filepath"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/store"
+)
+
+var (
+	stateBucket = []byte("state")
+	stateKey    = []byte("last")
+)
+
+var stateSchema = store.Schema{Kind: "fleet-state", Migrations: []func(*store.Tx) error{func(tx *store.Tx) error {
+	_, err := tx.CreateBucket(stateBucket)
+	return err
+}}}
+
+// again is how soon after a write the next is made, and a disk that failed is tried.
+const again = time.Second
+
+// stateFile keeps the last known state on disk, so that a member that starts alone has
+// something to go by. Nothing is promised by it: it may be behind. One goroutine uses it.
+type stateFile struct {
+	r       *Record
+	st      *store.Store
+	written uint64
+	failed  bool // said once
+}
+
+func (f *stateFile) path() string { return filepath.Join(f.r.o.Dir, "state.db") }
+
+// open opens the file, if it is not open, and returns the state in it, if there is one.
+func (f *stateFile) open() (s *entry.State, err error) {
+	if f.st != nil {
+		return nil, nil
+	}
+	if err := f.r.o.Fault("state"); err != nil {
+		return nil, err
+	}
+	for range 2 {
+		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.r.o.Ignore.Sync})
+		if err != nil {
+			return nil, err
+		}
+		if st.Aside != "" {
+			slog.Warn("record: state set aside", "why", st.Why, "as", st.Aside)
+		}
+		var text []byte
+		err = st.View(func(tx *store.Tx) error {
+			text = append(text, tx.Bucket(stateBucket).Get(stateKey)...)
+			return nil
+		})
+		word := "torn"
+		if err == nil && len(text) > 0 {
+			if s, err = unsealState(text); err == nil {
+				if err = s.Adopt(f.r.o.Genesis); err != nil {
+					word = "foreign"
+				}
+			}
+		}
+		if err == nil {
+			f.st = st
+			return s, nil
+		}
+		_ = st.Close()
+		aside, failed := setAside(f.path(), word)
+		if failed != nil {
+			return nil, errors.Join(err, failed)
+		}
+		slog.Warn("record: state set aside", "why", err, "as", aside)
+	}
+	return nil, fmt.Errorf("store %s: a fresh one is bad too", f.path())
+}
+
+func (f *stateFile) load() {
+	s, err := f.open()
+	if err == nil && s != nil {
+		f.written = s.Index
+		f.r.hub.put(s, nil)
+	}
+	f.tell(err)
+}
+
+// run writes the state when it has changed, at most once in a while, and at the end.
+func (f *stateFile) run(ctx context.Context) {
+	t := time.NewTicker(again)
+	defer t.Stop()
+	defer func() {
+		f.write()
+		if f.st != nil {
+			_ = f.st.Close()
+		}
+	}()
+	for {
+		woken := f.r.Changed()
+		f.write()
+		select {
+		case <-t.C: // the disk may have come back
+		case <-woken:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *stateFile) write() {
+	_, err := f.open()
+	s := f.r.hub.view.Load().State
+	if err != nil || s.Index <= f.written {
+		f.tell(err)
+		return
+	}
+	text, err := sealState(s)
+	if err == nil {
+		if err = f.r.o.Fault("state"); err == nil {
+			err = f.st.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, text) })
+		}
+	}
+	if err == nil {
+		f.written = s.Index
+	} else if f.st != nil { // bbolt is not trusted after a write that failed
+		_ = f.st.Close()
+		f.st = nil
+	}
+	f.tell(err)
+}
+
+// tell says once that the disk fails, and once that it does no more.
+func (f *stateFile) tell(err error) {
+	switch {
+	case err != nil && !f.failed:
+		slog.Warn("record: the state can't be written, going on in memory", "err", err)
+	case err == nil && f.failed:
+		slog.Info("record: the state is written again")
+	default:
+		return
+	}
+	f.failed = err != nil
+	if !f.r.votes { // a voter's word is about its votes
+		f.r.hub.change(func(v *View) { v.Disk = text(err) })
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
