--- /dev/null
+++ b/internal/fleet/share/budget.go
@@ -0,0 +1,154 @@
+package share
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+)
+
+// clamp is how many times the median of all members' parts one counts at most: the
+// uneven spread of traffic passes, a false word does not.
+const clamp = 3.0
+
+// Token is how many connections this member may send one next hop.
+type Token struct {
+	Server
+	Tokens int `json:"tokens"`
+}
+
+// Deal returns this member's tokens for the half epoch in which now lies, for every next
+// hop that any member holds for cold, by id.
+func (s *State) Deal(now time.Duration) (deal []Token) {
+	holders := s.holders(now)
+	cold := map[Server]bool{}
+	for _, name := range holders {
+		m := s.members[name]
+		for server, u := range m.uses {
+			if u.Cold && now-m.report.At < s.cfg.Hold {
+				cold[server] = true
+			}
+		}
+	}
+	half, _, _ := s.cfg.Half(now)
+	for server := range cold {
+		whole := s.budget(now, half/2, server, holders)
+		deal = append(deal, Token{server, s.tokens(now, half, whole, server, holders)})
+	}
+	slices.SortFunc(deal, func(a, b Token) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started))
+	})
+	return deal
+}
+
+// Zone is the name under which the set-ups into a zone are dealt. No next hop has it: none
+// started before 1970.
+func Zone(name string) Server { return Server{ID: name, Started: -1} }
+
+// Rate returns this member's tokens for the half epoch in which now lies, of a rate a second
+// that all members know and keep to together. Half of it is dealt in an epoch, so that two
+// epochs, which a window may touch, make no more than the whole.
+func (s *State) Rate(now time.Duration, server Server, rate float64) int {
+	if !(rate > 0) {
+		return 0
+	}
+	half, _, _ := s.cfg.Half(now)
+	whole := rounded(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, server, half/2)
+	return s.tokens(now, half, whole, server, s.holders(now))
+}
+
+// tokens deals a budget: whole in an epoch's first half, and what is known not to
+// have been spent in the second. Who has not reported since the first half's end counts as
+// having spent all that he had.
+func (s *State) tokens(now time.Duration, half int64, whole int, server Server, holders []string) int {
+	first := dealt(whole, server, half/2*2, holders)
+	if half%2 == 0 {
+		if s.Ignore.Ranks {
+			return whole
+		}
+		return first[s.self]
+	}
+	left := whole
+	_, begin, _ := s.cfg.Half(now)
+	for _, name := range holders {
+		m := s.members[name]
+		spent := first[name]
+		if r := m.report; r != nil && r.Half == half-1 && r.At >= begin {
+			spent = m.uses[server].Spent
+		} else if r != nil && r.Half == half {
+			spent = m.uses[server].Prior
+		}
+		left -= spent
+	}
+	if s.Ignore.Ranks {
+		return max(left, 0)
+	}
+	return dealt(max(left, 0), server, half, holders)[s.self]
+}
+
+// budget is what all may send a server within an epoch: the sum of their parts, none over
+// clamp times the median.
+func (s *State) budget(now time.Duration, epoch int64, server Server, holders []string) int {
+	var parts []float64
+	for _, name := range holders {
+		if m := s.members[name]; m.report != nil && now-m.report.At < s.cfg.Hold {
+			if u := m.uses[server]; u.Cold {
+				parts = append(parts, u.Part)
+			}
+		}
+	}
+	if len(parts) == 0 {
+		return 0
+	}
+	slices.Sort(parts)
+	most := clamp * parts[(len(parts)-1)/2]
+	sum := 0.0
+	for _, p := range parts {
+		sum += min(p, most)
+	}
+	return rounded(sum, server, epoch)
+}
+
+// rounded is a budget in whole tokens: a fraction becomes one more in as many epochs.
+func rounded(budget float64, server Server, epoch int64) int {
+	whole, fraction := math.Modf(budget)
+	if float64(hash(server.ID, uint64(server.Started), uint64(epoch))%1e6)/1e6 < fraction {
+		whole++
+	}
+	return int(min(whole, 1e6))
+}
+
+// dealt gives each holder an equal share of the tokens, and one more of the rest to those
+// who come first by their hash with the server and the half. More tokens never mean fewer
+// for anyone, so that members who reckon with different numbers together spend no more
+// than the greatest of them.
+func dealt(tokens int, server Server, half int64, holders []string) map[string]int {
+	ranked := slices.Clone(holders)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.Started), uint64(half)),
+			hash(b+"\x00"+server.ID, uint64(server.Started), uint64(half))), cmp.Compare(a, b))
+	})
+	of := make(map[string]int, len(ranked))
+	for rank, name := range ranked {
+		of[name] = tokens / len(ranked)
+		if rank < tokens%len(ranked) {
+			of[name]++
+		}
+	}
+	return of
+}
+
+func hash(word string, a, b uint64) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(word))
+	for _, x := range [2]uint64{a, b} {
+		for range 8 {
+			h.Write([]byte{byte(x)})
+			x >>= 8
+		}
+	}
+	x := h.Sum64() // FNV's high bits hardly move with the last bytes
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/fleet/share/budget_test.go
@@ -0,0 +1,47 @@
+package share
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever reports are lost and however the rate changes, all members together spend no more
+// of a zone's rate within an epoch than half of the greatest one makes, and without a rate
+// nothing.
+func TestRateTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "members")
+		w := newWorld(n, cfg)
+		b, prior := Zone("b"), make([]int, n)
+		for range rapid.IntRange(1, 5).Draw(t, "epochs") {
+			spent, most := 0, 0.0
+			for phase := range 2 {
+				half, _, end := cfg.Half(w.now)
+				used := make([]int, n)
+				for i, s := range w.states { // each has heard of the change, or not yet
+					rate := rapid.SampledFrom([]float64{0, 2.5, 40}).Draw(t, "rate")
+					most = max(most, rate)
+					tokens := s.Rate(w.now, b, rate)
+					if rate == 0 && tokens != 0 {
+						t.Fatalf("%d tokens of no rate", tokens)
+					}
+					used[i] = rapid.IntRange(0, tokens).Draw(t, "used")
+					spent += used[i]
+				}
+				w.now = end
+				for i := range n {
+					r := w.report(i, half, Use{Server: b, Spent: used[i], Prior: prior[i]})
+					for _, s := range w.states {
+						if rapid.Bool().Draw(t, "heard") {
+							s.Merge(r)
+						}
+					}
+				}
+				if prior = used; phase == 1 && float64(spent) > most*cfg.Epoch.Seconds()/2+1 {
+					t.Fatalf("%d spent of %g a second", spent, most)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/share/state.go
@@ -0,0 +1,126 @@
+package share
+
+import (
+	"slices"
+	"time"
+)
+
+// Status is what membership says of a member.
+type Status int
+
+// The statuses. Who left has said so and holds nothing any more; who failed may be cut
+// off and sending still.
+const (
+	Alive Status = iota
+	Failed
+	Left
+)
+
+func (s Status) String() string { return [...]string{"alive", "failed", "left"}[s] }
+
+type member struct {
+	status Status
+	since  time.Duration
+	report *Report
+	uses   map[Server]Use
+}
+
+// State is what one member knows of all. It is not safe for concurrent use.
+type State struct {
+	self    string
+	cfg     Config
+	members map[string]*member
+	Ignore  Guards
+}
+
+// New returns the state of a member that knows nobody else.
+func New(self string, cfg Config) *State {
+	return &State{self: self, cfg: cfg, members: map[string]*member{self: {}}}
+}
+
+// Saw takes news of a member's status.
+func (s *State) Saw(now time.Duration, name string, status Status) {
+	m := s.members[name]
+	if m == nil {
+		if status != Alive || len(s.members) >= mostMembers {
+			return
+		}
+		m = &member{}
+		s.members[name] = m
+	}
+	if name != s.self && m.status != status {
+		m.status, m.since = status, now
+	}
+}
+
+// Merge takes a report, of this member or of another that membership knows, and tells
+// whether it was news.
+func (s *State) Merge(r Report) bool {
+	m := s.members[r.Member]
+	if m == nil || !r.sound() || m.report != nil && !r.newer(m.report) {
+		return false
+	}
+	m.report, m.uses = &r, make(map[Server]Use, len(r.Uses))
+	for _, u := range r.Uses {
+		m.uses[u.Server] = u
+	}
+	return true
+}
+
+// Reports returns the latest report of each member, by name.
+func (s *State) Reports() (all []Report) {
+	for _, name := range s.names() {
+		if m := s.members[name]; m.report != nil {
+			all = append(all, *m.report)
+		}
+	}
+	return all
+}
+
+// Members returns the status of all who are not forgotten, by name.
+func (s *State) Members() map[string]Status {
+	all := make(map[string]Status, len(s.members))
+	for name, m := range s.members {
+		all[name] = m.status
+	}
+	return all
+}
+
+func (s *State) names() []string {
+	names := make([]string, 0, len(s.members))
+	for name := range s.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Forget drops members that have left or been silent for longer than the hold.
+func (s *State) Forget(now time.Duration) {
+	for name, m := range s.members {
+		if name != s.self && !s.holds(now, m) {
+			delete(s.members, name)
+		}
+	}
+}
+
+// holds tells whether a member's tokens are still its own.
+func (s *State) holds(now time.Duration, m *member) bool {
+	switch m.status {
+	case Left:
+		return false
+	case Failed:
+		return s.Ignore.Expire || now < m.since+s.cfg.Hold
+	}
+	return true
+}
+
+// holders are the members among whom tokens are dealt, by name.
+func (s *State) holders(now time.Duration) []string {
+	return slices.DeleteFunc(s.names(), func(name string) bool { return !s.holds(now, s.members[name]) })
+}
+
+// fresh tells whether a member's word counts as of late.
+func (s *State) fresh(now time.Duration, m *member) bool {
+	return m.report != nil && m.report.At <= now+s.cfg.Fresh && now-m.report.At < s.cfg.Fresh && m.status != Left
+}
--- /dev/null
+++ b/internal/fleet/share/verdicts.go
@@ -0,0 +1,51 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// leastAccusers is how many members must have seen a next hop fail.
+	leastAccusers = 2
+	// seen is what one failure counts for a moment after it, as all that is of late fades.
+	seen = 0.5
+)
+
+// Shunned are the next hops that enough members have seen fail of late: half of those who
+// have asked them, and two at least. One member's word, true or not, is never enough; and
+// however many accuse, only a share of all next hops is shunned, the most accused first.
+func (s *State) Shunned(now time.Duration) []Server {
+	asked, accused := map[Server]int{}, map[Server]int{}
+	for _, m := range s.members {
+		if !s.fresh(now, m) {
+			continue
+		}
+		for server, u := range m.uses {
+			if u.Asked > 0 {
+				asked[server]++
+				if u.Failed >= seen && 2*u.Failed >= u.Asked {
+					accused[server]++
+				}
+			}
+		}
+	}
+	least := leastAccusers
+	if s.Ignore.Quorum {
+		least = 1
+	}
+	var bad []Server
+	for server, n := range accused {
+		if n >= least && (2*n >= asked[server] || s.Ignore.Quorum) {
+			bad = append(bad, server)
+		}
+	}
+	slices.SortFunc(bad, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(accused[b], accused[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started))
+	})
+	if s.Ignore.Quorum {
+		return bad
+	}
+	return bad[:min(len(bad), int(s.cfg.Shun*float64(len(asked))))]
+}
--- /dev/null
+++ b/internal/fleet/share/verdicts_test.go
@@ -0,0 +1,84 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestVerdicts(t *testing.T) {
+	bad := func(id string) Use { return Use{Server: Server{ID: id}, Asked: 4, Failed: 3} }
+	good := func(id string) Use { return Use{Server: Server{ID: id}, Asked: 4} }
+	everyone := func(f func(string) Use) (all []Use) {
+		for i := range 8 {
+			all = append(all, f(fmt.Sprint("s", i)))
+		}
+		return all
+	}
+	for _, tt := range []struct {
+		name string
+		said [][]Use // by member
+		late time.Duration
+		want []string
+	}{
+		{"two of three saw it", [][]Use{append(everyone(good), bad("s1")), append(everyone(good), bad("s1")), everyone(good)}, 0, []string{"s1"}},
+		{"one liar accuses all", [][]Use{everyone(bad), everyone(good), everyone(good)}, 0, nil},
+		{"two liars of five", [][]Use{everyone(bad), everyone(bad), everyone(good), everyone(good), everyone(good)}, 0, nil},
+		{"all fail: no more than a quarter is shunned", [][]Use{everyone(bad), everyone(bad), everyone(bad)}, 0, []string{"s0", "s1"}},
+		{"long ago", [][]Use{append(everyone(good), bad("s1")), append(everyone(good), bad("s1"))}, cfg.Fresh, nil},
+		{"a fault now and then", [][]Use{{{Server: Server{ID: "s1"}, Asked: 9, Failed: 1}}, {{Server: Server{ID: "s1"}, Asked: 9, Failed: 1}}}, 0, nil},
+	} {
+		w := newWorld(len(tt.said), cfg)
+		for i, uses := range tt.said {
+			w.states[0].Merge(w.report(i, 0, uses...))
+		}
+		var got []string
+		for _, s := range w.states[0].Shunned(w.now + tt.late) {
+			got = append(got, s.ID)
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: shunned %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// However stale the others' words are, all members' retries together stay below twice the
+// share of first tries.
+func TestRetriesTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "members")
+		w := newWorld(n, cfg)
+		firsts, retries := make([]float64, n), make([]float64, n)
+		all := 0.0
+		for i := range n {
+			firsts[i] = rapid.Float64Range(0, 100).Draw(t, "firsts")
+			all += firsts[i]
+		}
+		tell := func(i int) Report {
+			w.seq++
+			return Report{Member: w.names[i], Boot: 1, Seq: w.seq, At: w.now, Firsts: firsts[i], Retries: retries[i]}
+		}
+		for range 20 {
+			for i, s := range w.states {
+				r := tell(i)
+				s.Merge(r)
+				for _, other := range w.states {
+					if rapid.IntRange(0, 3).Draw(t, "heard") == 0 {
+						other.Merge(r)
+					}
+				}
+				retries[i] += s.Retries(w.now) * rapid.Float64Range(0, 1).Draw(t, "used")
+			}
+		}
+		sum := 0.0
+		for _, r := range retries {
+			sum += r
+		}
+		if sum > 2*cfg.Retries*all+1e-6 {
+			t.Fatalf("%.2f retries for %.2f first tries", sum, all)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/zone/state.go
@@ -0,0 +1,166 @@
+package zone
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// String names the posture as people read it.
+func (p Posture) String() string {
+	if p < Open || p > Held {
+		return fmt.Sprintf("posture %d", int(p))
+	}
+	return [...]string{"open", "suspect", "leaving", "left", "returning", "held"}[p]
+}
+
+// gone tells whether nothing new is sent.
+func (p Posture) gone() bool { return p == Leaving || p == Left || p == Held }
+
+// most of an Over, of the times that a zone is counted as failed, and of a rate.
+const mostOver, mostFails, mostRate = 0.95, 1 << 20, 1e6
+
+func order(a, b Seen) int {
+	return cmp.Or(strings.Compare(a.From, b.From), strings.Compare(a.To, b.To))
+}
+
+// seen returns the posture of a zone from another: Open with share 1 if it is not named.
+func (s State) seen(from, to string) Seen {
+	low, high := 0, len(s.Seen)
+	for low < high {
+		mid := (low + high) / 2
+		r := &s.Seen[mid]
+		switch c := cmp.Or(strings.Compare(r.From, from), strings.Compare(r.To, to)); {
+		case c == 0:
+			return *r
+		case c < 0:
+			low = mid + 1
+		default:
+			high = mid
+		}
+	}
+	return Seen{From: from, To: to, Share: 1}
+}
+
+// Apply returns the state after a change, or why it is not taken: its base, a name, a
+// posture that can't follow the last one, or more zones left than the panic rule allows.
+func (s State) Apply(cfg Config, c Change) (State, error) {
+	cfg = cfg.full()
+	if c.Base != s.Version {
+		return s, fmt.Errorf("zones: decided on version %d, it is %d", c.Base, s.Version)
+	}
+	if !(c.Over >= 0 && c.Over <= mostOver) {
+		return s, fmt.Errorf("zones: over %v is outside 0 to %v", c.Over, mostOver)
+	}
+	if len(c.Set) == 0 && c.Over == s.Over {
+		return s, errors.New("zones: changes nothing")
+	}
+	if err := listed(cfg, c.Zones); err != nil {
+		return s, err
+	}
+	for i, n := range c.Set {
+		if i > 0 && order(c.Set[i-1], n) >= 0 {
+			return s, fmt.Errorf("zones: %s to %s: out of order, or twice", n.From, n.To)
+		}
+		if err := follows(cfg, s.seen(n.From, n.To), n); err != nil {
+			return s, fmt.Errorf("zones: %.64s to %.64s: %w", n.From, n.To, err)
+		}
+	}
+	next := State{Version: s.Version + 1, Seen: merged(s.Seen, c.Set), Zones: slices.Clone(c.Zones), Over: c.Over}
+	for _, r := range next.Seen {
+		for _, z := range []string{r.From, r.To} {
+			if _, ok := slices.BinarySearch(next.Zones, z); !ok {
+				return s, fmt.Errorf("zones: %.64q is not among the change's zones", z)
+			}
+		}
+	}
+	if err := next.carries(cfg, c.Set); err != nil {
+		return s, err
+	}
+	return next, nil
+}
+
+// listed checks a change's list of all zones.
+func listed(cfg Config, zones []string) error {
+	if len(zones) == 0 || len(zones) > mostZones {
+		return fmt.Errorf("zones: %d zones are named, 1 to %d are taken", len(zones), mostZones)
+	}
+	for i, z := range zones {
+		if !isName(z) || i > 0 && zones[i-1] >= z {
+			return fmt.Errorf("zones: %.80q: no name, out of order, or twice", z)
+		}
+		if len(cfg.Zones) > 0 && !slices.Contains(cfg.Zones, z) {
+			return fmt.Errorf("zones: %.80q is none of fleet.zones.zones", z)
+		}
+	}
+	return nil
+}
+
+// merged returns the rows with those of set in their place. What is as if it were not
+// named is dropped.
+func merged(rows, set []Seen) []Seen {
+	var out []Seen
+	add := func(r Seen) {
+		if r.Posture != Open || r.Share != 1 || r.Fails != 0 {
+			out = append(out, r)
+		}
+	}
+	for len(rows) > 0 || len(set) > 0 {
+		switch {
+		case len(set) == 0 || len(rows) > 0 && order(rows[0], set[0]) < 0:
+			add(rows[0])
+			rows = rows[1:]
+		default:
+			if len(rows) > 0 && order(rows[0], set[0]) == 0 {
+				rows = rows[1:]
+			}
+			add(set[0])
+			set = set[1:]
+		}
+	}
+	return out
+}
+
+// carries is the panic rule as far as the state alone can tell: no viewpoint that the
+// change touches leaves more than its part of the zones, and none leaves all. A zone that
+// is being returned to bears little yet, and counts as left.
+func (s State) carries(cfg Config, set []Seen) error {
+	most := cfg.most(len(s.Zones))
+	for i, n := range set {
+		if !n.Posture.gone() || i > 0 && set[i-1].From == n.From && set[i-1].Posture.gone() {
+			continue
+		}
+		if left := s.left(n.From); left > most {
+			return fmt.Errorf("zones: %s would have left %d of %d zones, at most %d may be (fleet.zones.most)",
+				n.From, left, len(s.Zones), most)
+		}
+	}
+	return nil
+}
+
+// left counts the zones that one viewpoint has left and those it is returning to.
+func (s State) left(from string) (n int) {
+	for _, r := range s.Seen {
+		if r.From == from && (r.Posture.gone() || r.Posture == Returning) {
+			n++
+		}
+	}
+	return n
+}
+
+// Bounds returns what a node of one zone may send others, by name: a zone that is not
+// named has no bound. Over, which is no zone's, is to be read from the state.
+func (s State) Bounds(from string) (all []Bound) {
+	for _, r := range s.Seen {
+		switch {
+		case r.From != from:
+		case r.Posture.gone():
+			all = append(all, Bound{Zone: r.To})
+		case r.Share < 1 || r.Posture == Returning:
+			all = append(all, Bound{Zone: r.To, Share: r.Share, Rate: r.Rate})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/zone/state_test.go
@@ -0,0 +1,138 @@
+package zone
+
+import (
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What the record takes, and why it does not take the rest. It is the same for whoever
+// applies it, so a false leader can do no more than this allows.
+func TestApply(t *testing.T) {
+	cfg := Config{Zones: []string{"a", "b", "c", "d"}}
+	zones := cfg.Zones
+	base := State{Version: 7, Zones: zones, Seen: []Seen{
+		{From: "a", To: "b", Posture: Held, Since: 1000, Until: 9000, Fails: 2},
+		{From: "a", To: "c", Posture: Returning, Step: 2, Share: 0.15, Rate: 9, Since: 1000, Fails: 1},
+	}}
+	leave := func(from, to string) Seen { return Seen{From: from, To: to, Posture: Leaving, Fails: 1, Since: 2000} }
+	for _, tt := range []struct {
+		name, err string
+		set       []Seen
+		change    func(c *Change)
+	}{
+		{"one more is left elsewhere", "", []Seen{leave("b", "c"), leave("c", "c")}, nil},
+		{"up a step", "", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.35, Rate: 9, Since: 3000, Fails: 1}}, nil},
+		{"the hold is over", "", []Seen{{From: "a", To: "b", Posture: Returning, Step: 1, Share: 0.05, Rate: 9, Since: 9000, Fails: 2}}, nil},
+		{"another base", "decided on version 6", []Seen{leave("b", "c")}, func(c *Change) { c.Base = 6 }},
+		{"nothing", "changes nothing", nil, nil},
+		{"the third of four", "left 3 of 4 zones, at most 2", []Seen{leave("a", "d")}, nil},
+		{"three at once", "left 3 of 4 zones", []Seen{leave("b", "a"), leave("b", "c"), leave("b", "d")}, nil},
+		{"two steps up", "step 4 can't follow step 2", []Seen{{From: "a", To: "c", Posture: Returning, Step: 4, Share: 0.7, Rate: 9, Fails: 1}}, nil},
+		{"all at once", "one step after step 2", []Seen{{From: "a", To: "c", Share: 1, Fails: 1}}, nil},
+		{"open from held", "open can't follow held", []Seen{{From: "a", To: "b", Share: 1}}, nil},
+		{"before the hold is over", "held until 9000", []Seen{{From: "a", To: "b", Posture: Returning, Step: 1, Share: 0.05, Rate: 9, Since: 8999, Fails: 2}}, nil},
+		{"more than the step's share", "more than step 3 allows", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.5, Rate: 9, Fails: 1}}, nil},
+		{"no rate", "rate 0", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.3, Fails: 1}}, nil},
+		{"no number", "share NaN", []Seen{{From: "b", To: "c", Share: math.NaN()}}, nil},
+		{"open with nothing", "share 0, but it is open", []Seen{{From: "b", To: "c"}}, nil},
+		{"left and yet sent to", "share 1, but it is leaving", []Seen{{From: "b", To: "c", Posture: Leaving, Share: 1, Fails: 1}}, nil},
+		{"unknown posture", "posture 9 is not known", []Seen{{From: "b", To: "c", Posture: 9}}, nil},
+		{"out of order", "out of order", []Seen{leave("c", "c"), leave("b", "c")}, nil},
+		{"a stranger", "not among the change's zones", []Seen{leave("b", "e")}, nil},
+		{"strangers to make it look few", "none of fleet.zones.zones", []Seen{leave("b", "c")}, func(c *Change) { c.Zones = append(zones[:4:4], "e") }},
+		{"a zone that is named is not listed", "not among", []Seen{leave("b", "d")}, func(c *Change) { c.Zones = []string{"b", "c", "d"} }},
+		{"no share at all", "over 1 is outside", []Seen{leave("b", "c")}, func(c *Change) { c.Over = 1 }},
+	} {
+		c := Change{Base: 7, Zones: zones, Set: tt.set}
+		if tt.change != nil {
+			tt.change(&c)
+		}
+		before := base.Bounds("a")
+		next, err := base.Apply(cfg, c)
+		switch {
+		case tt.err == "" && (err != nil || next.Version != 8):
+			t.Errorf("%s: version %d, %v", tt.name, next.Version, err)
+		case tt.err != "" && (err == nil || !strings.Contains(err.Error(), tt.err) || next.Version != 7):
+			t.Errorf("%s: %v, version %d", tt.name, err, next.Version)
+		case !reflect.DeepEqual(before, base.Bounds("a")):
+			t.Errorf("%s: the state before was changed", tt.name)
+		}
+	}
+	if got := base.Bounds("a"); !reflect.DeepEqual(got, []Bound{{Zone: "b"}, {Zone: "c", Share: 0.15, Rate: 9}}) {
+		t.Errorf("bounds %+v", got)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for key, c := range map[string]Config{
+		"":                           {},
+		"fleet.zones.fresh":          {Fresh: time.Millisecond},
+		"fleet.zones.holdMost":       {Hold: time.Minute, HoldMost: time.Second},
+		"fleet.zones.quiet":          {Quiet: time.Second},
+		"fleet.zones.most":           {Most: 1},
+		"fleet.zones.steps":          {Steps: []float64{0.5, 0.2}},
+		"fleet.zones.zones":          {Zones: []string{"a", "a"}},
+		"fleet.zones.regions.y":      {Regions: map[string][]string{"x": {"a"}, "y": {"a"}}},
+		"fleet.zones.regions.x":      {Regions: map[string][]string{"x": {"b"}}, Zones: []string{"a"}},
+		"fleet.zones.cold: NaN":      {Cold: math.NaN()},
+		"fleet.zones.bears: -1":      {Bears: -1},
+		"fleet.zones.regions.: a re": {Regions: map[string][]string{"": {"a"}}},
+	} {
+		if err := c.Check(); (key == "") != (err == nil) || err != nil && !strings.HasPrefix(err.Error(), key) {
+			t.Errorf("%q: %v", key, err)
+		}
+	}
+}
+
+// A member that hears nobody adds one zone to what the record says, never its own, and
+// nothing while it reaches hardly anybody; it comes back by steps, or when it hears.
+func TestAlone(t *testing.T) {
+	record := State{Version: 3, Zones: []string{"a", "b", "c", "d", "e"}, Seen: []Seen{{From: "a", To: "b", Posture: Left, Fails: 1}}}
+	for _, tt := range []struct {
+		name   string
+		guards Guards
+		lost   string
+		want   string
+	}{
+		{"nothing", Guards{}, "", "b"},
+		{"one more", Guards{}, "c", "bc"},
+		{"two more: one", Guards{}, "cd", "bc"},
+		{"its own", Guards{}, "a", "b"},
+		{"hardly anybody", Guards{}, "bcde", "b"},
+		{"hardly anybody, believed", Guards{Accuse: true}, "bcde", "bc"},
+	} {
+		w := newWorld(t, 5, 1)
+		w.state = record
+		w.bad = func(_, to string, _ int) float64 { return one(strings.Contains(tt.lost, to)) }
+		alone := NewAlone(w.cfg)
+		alone.Ignore = tt.guards
+		left := func(d time.Duration, s State) (names string) {
+			var all []Bound
+			for end := w.now + d; w.now < end; {
+				w.now += 100 * time.Millisecond
+				all = alone.Step(w.now, s, w.word(Member{Name: "a0", Zone: "a"}))
+			}
+			for _, b := range all {
+				if b.Share == 0 {
+					names += b.Zone
+				}
+			}
+			return names
+		}
+		if got := left(3*time.Second, record); got != tt.want {
+			t.Errorf("%s: left %s, want %s", tt.name, got, tt.want)
+		}
+		heard := record
+		heard.Version++
+		if got := left(100*time.Millisecond, heard); got != "b" {
+			t.Errorf("%s: left %s once it hears", tt.name, got)
+		}
+		w.bad = func(string, string, int) float64 { return 0 }
+		if got := left(30*time.Second, record); got != "b" {
+			t.Errorf("%s: left %s after all is well", tt.name, got)
+		}
+	}
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -34,6 +34,7 @@
 // Open is a first line that opens a connection.
 type Open struct {
 	ID, Key, Class, Group, At string
+	Realm                     string        // the tenant; empty where the line names none
 	Wait                      time.Duration // d: how long the caller waits for UP
 	Hint                      float64
 	Retry, Again              bool
@@ -86,6 +87,8 @@
 		o.Class = value
 	case "g":
 		o.Group = value
+	case "realm":
+		o.Realm = value
 	case "rs":
 		o.Resume = value
 	case "rp":
--- /dev/null
+++ b/internal/operator/accounts.go
@@ -0,0 +1,26 @@
+package operator
+
+import (
+	"time"
+
+	"coralrelay/internal/fleet/account"
+)
+
+// mostMembers is how many there may be.
+const mostMembers = 1024
+
+// Accounts is how the limits of accounts are dealt over the members. All have it alike.
+type Accounts struct {
+	Members int `json:"members"` // when all are well; 0 where nobody says
+}
+
+// Deal is what package account takes.
+func (l *Fleet) Deal() account.DealConfig {
+	return account.DealConfig{Epoch: l.Epoch.Duration, Hold: l.Hold.Duration, Full: l.Accounts.Members}
+}
+
+func (a *Accounts) check(c *checks, l *Fleet) {
+	c.fault(a.Members < 0 || a.Members > mostMembers, "fleet.accounts.members", a.Members, "0 to 1024")
+	c.fault(a.Members > 0 && !l.Record.On(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
+	c.fault(l.Record.On() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
+}
--- /dev/null
+++ b/internal/operator/load.go
@@ -0,0 +1,113 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+)
+
+// largest bounds the file, in bytes.
+const largest = 1 << 20
+
+// Load reads and checks the file at path. JSON is read here; for a CUE file
+// coralctl beside this program is started, which ends before Load returns.
+func Load(path string) (File, error) {
+	raw, err := readAll(path)
+	if err != nil {
+		return File{}, fmt.Errorf("--config: %w", err)
+	}
+	if filepath.Ext(path) == ".cue" {
+		if raw, err = export(path); err != nil {
+			return File{}, fmt.Errorf("--config: %w", err)
+		}
+	}
+	f, err := Parse(raw)
+	if err != nil {
+		return File{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+func readAll(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(f, largest+1))
+	if err == nil && len(raw) > largest {
+		err = fmt.Errorf("%s: over %d bytes", path, largest)
+	}
+	return raw, err
+}
+
+// Parse reads and checks JSON; what it does not name has its default.
+func Parse(raw []byte) (File, error) {
+	f := Default()
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return File{}, Fault{wrong.Field, wrong.Value, wrong.Type.String()}
+		}
+		return File{}, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return File{}, errors.New("more than one record")
+	}
+	return f, f.Check()
+}
+
+// exporting bounds the helper that reads CUE.
+const exporting = 20 * time.Second
+
+// export has coralctl turn a CUE file into JSON. CUE is heavy; the helper is gone
+// before the node serves.
+func export(path string) ([]byte, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	helper := filepath.Join(filepath.Dir(self), "coralctl")
+	if _, err := os.Stat(helper); err != nil {
+		return nil, fmt.Errorf("%s needs coralctl beside the node, or give the JSON that 'coralctl export' prints: %w", path, err)
+	}
+	var out, complaint bytes.Buffer
+	c := exec.Command(helper, "export", path)
+	c.Stdout, c.Stderr, c.WaitDelay = &out, &complaint, time.Second
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(exporting, func() { _ = c.Process.Kill() })
+	defer timer.Stop()
+	if err := c.Wait(); err != nil {
+		return nil, fmt.Errorf("%s", strings.TrimSpace(complaint.String()+" "+err.Error()))
+	}
+	return out.Bytes(), nil
+}
+
+// Fixed names the keys that differ between f and next and need a restart.
+func (f *File) Fixed(next *File) (keys []string) {
+	for key, same := range map[string]bool{
+		"log.format": f.Log.Format == next.Log.Format, "resume.enabled": f.Resume.Enabled == next.Resume.Enabled,
+		"udp":           f.UDP == next.UDP,
+		"fleet":         reflect.DeepEqual(f.Fleet, next.Fleet),
+		"resume.ledger": reflect.DeepEqual(f.Resume.Ledger, next.Resume.Ledger),
+	} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/operator/promises.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"time"
+
+	"coralrelay/internal/fleet/promise"
+)
+
+// Promises is how the fleet keeps contracts on response times. All members have it alike.
+type Promises struct {
+	Enabled  bool     `json:"enabled"`
+	Part     Duration `json:"part"`     // of time: what is measured in it is told and judged as one
+	Parts    int      `json:"parts"`    // that are evidence, the last ones
+	Late     Duration `json:"late"`     // after a part's end members' samples are still waited for
+	Cells    int      `json:"cells"`    // pairs of contract and region that a member tells of a part
+	Z        float64  `json:"z"`        // standard deviations that a verdict needs
+	Need     float64  `json:"need"`     // times that make a region measured
+	Period   Duration `json:"period"`   // between two steps of one contract
+	Step     float64  `json:"step"`     // of a contract that is moved in a period at most
+	Inflow   float64  `json:"inflow"`   // of what a region bears that is moved there in a period at most
+	Fill     float64  `json:"fill"`     // of what a region bears up to which contracts are moved there
+	Patience Duration `json:"patience"` // a region has to break a promise for so long before anyone leaves
+	Margin   float64  `json:"margin"`   // of the allowed misses that a region must leave free to be moved to
+	Explore  float64  `json:"explore"`  // of a contract that measures where nobody has of late
+	Pace     int      `json:"pace"`     // for rehearsals: all these times, and contracts' windows, pass so many times faster
+}
+
+func defaultPromises() Promises {
+	d := promise.Default()
+	in := func(t time.Duration) Duration { return Duration{t} }
+	return Promises{Part: in(d.Part), Parts: d.Parts, Late: in(d.Late), Cells: d.Cells, Z: d.Z, Need: d.Need, Period: in(d.Period),
+		Step: d.Step, Inflow: d.Inflow, Fill: d.Fill, Patience: in(d.Patience), Margin: d.Margin, Explore: d.Explore, Pace: 1}
+}
+
+// Config is what package promise takes.
+func (p *Promises) Config() promise.Config {
+	return promise.Config{Part: p.Part.Duration, Parts: p.Parts, Late: p.Late.Duration, Cells: p.Cells, Z: p.Z, Need: p.Need,
+		Period: p.Period.Duration, Step: p.Step, Inflow: p.Inflow, Fill: p.Fill, Patience: p.Patience.Duration, Margin: p.Margin, Explore: p.Explore}
+}
+
+// paced is from where a faster clock runs: it has to be the same at all members.
+const paced = time.Duration(1_767_225_600) * time.Second // 2026-01-01
+
+// Time is what promises take a Unix time for.
+func (p *Promises) Time(unix time.Duration) time.Duration {
+	if p.Pace <= 1 {
+		return unix
+	}
+	return paced + (unix-paced)*time.Duration(p.Pace)
+}
+
+// check leaves most of the figures' bounds to package promise.
+func (p *Promises) check(c *checks, l *Fleet) {
+	const key = "fleet.promises."
+	c.fault(p.Enabled && !l.Record.On(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
+	c.fault(p.Pace < 1 || p.Pace > 60, key+"pace", p.Pace, "1 to 60")
+	if bad := p.Config().Check(); bad != "" {
+		c.fault(true, key+bad, "a figure that can't be worked with", "what 'coralctl explain fleet.promises."+bad+"' tells")
+	}
+}
--- /dev/null
+++ b/internal/operator/record.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"encoding/base64"
+	"fmt"
+	"time"
+)
+
+// longestZone bounds a zone's name, so that what a member saw of 12 of them fits a datagram.
+const longestZone = 24
+
+// Record is the log that all members hold alike. It is on where it has voters.
+type Record struct {
+	Dir       string   `json:"dir"`       // folder; of this member alone
+	Bind      string   `json:"bind"`      // IP:PORT, TCP
+	Advertise string   `json:"advertise"` // where the others reach it, if elsewhere
+	Voters    []Voter  `json:"voters"`    // the same at all members: 3 or 5, or none for off
+	Lease     Duration `json:"lease"`     // who has heard from nobody for so long acts on its own
+	Root      string   `json:"root"`      // public key of who may found accounts, in base64; empty for nobody
+}
+
+// Voter is a member that decides what the record takes.
+type Voter struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"` // where the others reach its record
+	Zone string `json:"zone"`
+}
+
+// On tells whether this member keeps the record.
+func (r *Record) On() bool { return len(r.Voters) > 0 }
+
+// Reached is where the others reach this member's record.
+func (r *Record) Reached() string {
+	if r.Advertise != "" {
+		return r.Advertise
+	}
+	return r.Bind
+}
+
+// RootKey is the root key's bytes, none for nobody's.
+func (r *Record) RootKey() ([]byte, error) {
+	key, err := base64.StdEncoding.DecodeString(r.Root)
+	if err != nil || len(key) != 0 && len(key) != 32 {
+		return nil, fmt.Errorf("%d characters", len(r.Root))
+	}
+	return key, nil
+}
+
+func (r *Record) check(c *checks, l *Fleet) {
+	const key = "fleet.record."
+	c.within(key+"lease", r.Lease, 500*time.Millisecond, time.Minute)
+	_, err := r.RootKey()
+	c.fault(err != nil, key+"root", r.Root, "what 'coralctl account key' prints for public, or nothing")
+	c.fault(r.Bind != "" && !isIP(r.Bind), key+"bind", r.Bind, "IP:PORT")
+	c.fault(r.Advertise != "" && !isIP(r.Advertise), key+"advertise", r.Advertise, "IP:PORT")
+	if !r.On() {
+		c.fault(r.Dir != "" || r.Bind != "" || r.Advertise != "", key+"voters", "none", "3 or 5, as fleet.record names a folder or an address")
+		return
+	}
+	c.fault(l.Agent == "", "fleet.agent", l.Agent, "HOST:PORT, as fleet.record has voters")
+	c.fault(l.Zone == "", "fleet.zone", l.Zone, "this member's zone, as fleet.record has voters")
+	c.fault(r.Dir == "", key+"dir", r.Dir, "a folder, as fleet.record has voters")
+	c.fault(r.Bind == "", key+"bind", r.Bind, "IP:PORT, as fleet.record has voters")
+	r.checkVoters(c, l)
+}
+
+// checkVoters holds the voters against one another and against this member.
+func (r *Record) checkVoters(c *checks, l *Fleet) {
+	const key = "fleet.record.voters"
+	c.fault(len(r.Voters) != 3 && len(r.Voters) != 5, key, len(r.Voters), "3 or 5 voters")
+	own := r.Reached()
+	names, addrs, zones := map[string]bool{}, map[string]bool{}, map[string]int{}
+	for _, v := range r.Voters {
+		c.fault(!isName(v.Name, 64), key, v.Name, "names of 1 to 64 bytes without blanks")
+		c.fault(!isIP(v.Addr), key, v.Addr, "addresses IP:PORT")
+		c.fault(!isName(v.Zone, longestZone), key, v.Zone, "zones of 1 to 24 bytes without blanks")
+		c.fault(names[v.Name], key, v.Name, "each name once")
+		c.fault(addrs[v.Addr], key, v.Addr, "each address once")
+		names[v.Name], addrs[v.Addr] = true, true
+		if zones[v.Zone]++; zones[v.Zone] == len(r.Voters)/2+1 {
+			c.fault(len(r.Voters) > 1, key, v.Zone, "voters of which no zone holds a majority: with it the record would stop")
+		}
+		if v.Name == l.Name {
+			c.fault(v.Zone != l.Zone, "fleet.zone", l.Zone, "that of this member among fleet.record.voters: "+v.Zone)
+			c.fault(isIP(own) && v.Addr != own, key, v.Addr, "where this member is reached, by fleet.record.bind or advertise: "+own)
+		} else {
+			c.fault(v.Addr == own, key, v.Addr, "addresses of their own: this is "+l.Name+"'s")
+		}
+	}
+}
--- a/internal/operator/schema/operator.cue
+++ b/internal/operator/schema/operator.cue
@@ -4,6 +4,7 @@
 #Duration: string & =~"^([0-9]+(\\.[0-9]+)?(ns|us|ms|s|m|h))+$" | "0"
 #Address:  =~"^[^ :]*:[0-9]+$"
 #Name:     =~"^[^ \\t]{1,40}$"
+#Zone:     =~"^[^ \\t]{1,24}$"
 
 log: {
 	// debug, info, warn or error; can change while the node runs
@@ -120,9 +121,118 @@
 	retries: number & >=0 & <=10 | *0.2
 	// share of the next hops that verdicts cover at most
 	shun: number & >=0 & <=1 | *0.25
+	// where this member stands; empty for nowhere
+	zone: #Zone | *""
+	// the log that all members hold alike; off without voters
+	record: {
+		// this member's own folder for it
+		dir: string | *""
+		// where this member serves it, TCP
+		bind: #Address | *""
+		// where the others reach that, if elsewhere
+		advertise: #Address | *""
+		// members that decide what it takes, the same at all: 3 or 5, no zone with a majority; none for off
+		voters: [...#Voter] | *[]
+		// who has heard from nobody for so long acts on its own: 500ms to 1m
+		lease: #Duration | *"2s"
+		// public key of who may found accounts, as 'coralctl account key' prints it; empty for nobody
+		root: =~"^[A-Za-z0-9+/]{43}=$" | *""
+	}
+	// the limits of accounts, which the record holds; the same at all members
+	accounts: {
+		// when all are well: who sees half of them or fewer keeps to its even part of each limit; 0 for no such rule
+		members: int & >=0 & <=1024 | *0
+	}
+	// leaving zones that fail, and returning, as a fleet; the same at all members
+	zones: {
+		// needs a record
+		enabled: bool | *false
+		// named sets of zones, that are left and returned to as one
+		regions: {[#Zone]: [...#Zone]} | *{}
+		// where given, the record takes no other
+		zones: [...#Zone] | *[]
+		// a member's word counts for so long: 100ms to 1m
+		fresh: #Duration | *"1s"
+		// members' clocks may be so far apart: up to 10s
+		skew: #Duration | *"200ms"
+		// a failure must be seen for so long, and twice that where others are about to see it: up to 1m
+		confirm: #Duration | *"200ms"
+		// from leaving to left, by when all have heard: up to 1m
+		settle: #Duration | *"500ms"
+		// good evidence holds for so long before each step of a return: 100ms to 1h
+		steady: #Duration | *"2s"
+		// least time between two changes of one share: 100ms to 1h
+		gap: #Duration | *"5s"
+		// a zone that fails a second time is held so long, then twice as long: 100ms to 1h
+		hold: #Duration | *"5s"
+		// and never longer than this: hold to 24h
+		holdMost: #Duration | *"5m"
+		// then a zone's failures are forgotten: holdMost to 240h
+		quiet: #Duration | *"10m"
+		// a cold next hop is warm after this: up to 1h
+		ramp: #Duration | *"10s"
+		// what a member must have asked before its word counts
+		enough: number & >=0.1 & <=1e6 | *2
+		// bad share of its next hops from which on a zone serves nobody
+		lost: number & >=0.7 & <=1 | *0.9
+		// share of all zones that are left at most, as seen from one
+		most: number & >=0.01 & <=0.99 | *0.7
+		// load over capacity up to which the zones that stay are filled
+		high: number & >=0.1 & <=1 | *0.85
+		// of its capacity that a next hop can do as it starts
+		cold: number & >=0.01 & <=1 | *0.3
+		// of a cold next hop's capacity beyond which it falls over
+		multiple: number & >=0.1 & <=100 | *3
+		// set-ups a second that a warm next hop bears
+		bears: number & >=0.01 & <=1e6 | *10
+		// set-ups a second that the session store bears; 0 for no bound
+		store: number & >=0 & <=1e6 | *0
+		// shares of a return's steps, rising, above 0 to 1: 1 to 16 of them
+		steps: [...number] | *[0.05, 0.15, 0.35, 0.7]
+	}
+	// keeping contracts on response times; the same at all members
+	promises: {
+		// needs a record
+		enabled: bool | *false
+		// what is measured in such a part of time is told and judged as one: 1s to 1m
+		part: #Duration | *"5s"
+		// the last parts, that are evidence
+		parts: int & >=1 & <=60 | *6
+		// after a part's end members' samples are still waited for: up to two parts
+		late: #Duration | *"5s"
+		// pairs of contract and region that a member tells of a part at most
+		cells: int & >=1 & <=4096 | *1024
+		// standard deviations that a verdict needs
+		z: number & >=0.5 & <=6 | *2
+		// times within the evidence that make a region measured
+		need: number & >=1 & <=1e6 | *100
+		// between two steps of one contract: 30s or more
+		period: #Duration | *"30s"
+		// of a contract that is moved in a period at most
+		step: number & >0 & <=1 | *0.1
+		// of what a region bears that is moved there in a period at most
+		inflow: number & >0 & <=1 | *0.05
+		// of what a region bears up to which contracts are moved there
+		fill: number & >0 & <=1 | *0.85
+		// a region has to break a promise for so long before anyone leaves it
+		patience: #Duration | *"20s"
+		// of the allowed misses that a region must leave free to be moved to
+		margin: number & >=0 & <1 | *0.25
+		// of a contract that measures where nobody has of late
+		explore: number & >=0 & <=0.02 | *0.02
+		// for rehearsals: these times and contracts' windows pass so many times faster
+		pace: int & >=1 & <=60 | *1
+	}
 	if agent != "" {
 		name: !=""
 		bind: !=""
 		key:  !=""
 	}
 }
+
+#Voter: {
+	name: =~"^[^ \\t]{1,64}$"
+	// where the others reach its record
+	addr: #Address
+	zone: #Zone
+}
--- /dev/null
+++ b/internal/operator/zones.go
@@ -0,0 +1,71 @@
+package operator
+
+import (
+	"slices"
+	"time"
+
+	"coralrelay/internal/fleet/zone"
+)
+
+// Zones is how the fleet leaves zones and returns to them. All members have it alike.
+type Zones struct {
+	Enabled bool                `json:"enabled"`
+	Regions map[string][]string `json:"regions"` // named sets of zones, that are left and returned to as one
+	Zones   []string            `json:"zones"`   // where given, the record takes no other
+
+	Fresh    Duration `json:"fresh"`    // a member's word counts for so long
+	Skew     Duration `json:"skew"`     // members' clocks may be so far apart
+	Confirm  Duration `json:"confirm"`  // a failure must be seen for so long
+	Settle   Duration `json:"settle"`   // from leaving to left
+	Steady   Duration `json:"steady"`   // good evidence holds for so long before each step of a return
+	Gap      Duration `json:"gap"`      // least time between two changes of one share
+	Hold     Duration `json:"hold"`     // a zone that fails again is held so long, then twice as long
+	HoldMost Duration `json:"holdMost"` // and never longer than this
+	Quiet    Duration `json:"quiet"`    // then its failures are forgotten
+	Ramp     Duration `json:"ramp"`     // a cold next hop is warm after this
+
+	Enough   float64   `json:"enough"`   // what a member must have asked before its word counts
+	Lost     float64   `json:"lost"`     // bad share of its next hops from which on a zone serves nobody
+	Most     float64   `json:"most"`     // share of all zones that are left at most, as seen from one
+	High     float64   `json:"high"`     // load over capacity up to which the zones that stay are filled
+	Cold     float64   `json:"cold"`     // of its capacity that a next hop can do as it starts
+	Multiple float64   `json:"multiple"` // of a cold next hop's capacity beyond which it falls over
+	Bears    float64   `json:"bears"`    // set-ups a second that a warm next hop bears
+	Store    float64   `json:"store"`    // set-ups a second that the session store bears; 0 for no bound
+	Steps    []float64 `json:"steps"`    // shares of a return's steps, rising
+}
+
+func defaultZones() Zones {
+	d := zone.Default()
+	in := func(t time.Duration) Duration { return Duration{t} }
+	return Zones{Regions: map[string][]string{}, Zones: []string{}, Fresh: in(d.Fresh), Skew: in(d.Skew), Confirm: in(d.Confirm),
+		Settle: in(d.Settle), Steady: in(d.Steady), Gap: in(d.Gap), Hold: in(d.Hold), HoldMost: in(d.HoldMost), Quiet: in(d.Quiet),
+		Ramp: in(d.Ramp), Enough: d.Enough, Lost: d.Lost, Most: d.Most, High: d.High, Cold: d.Cold, Multiple: d.Multiple,
+		Bears: d.Bears, Store: d.Store, Steps: d.Steps}
+}
+
+// Config is what package zone takes.
+func (z *Zones) Config() zone.Config {
+	return zone.Config{Regions: z.Regions, Zones: z.Zones, Fresh: z.Fresh.Duration, Skew: z.Skew.Duration, Confirm: z.Confirm.Duration,
+		Settle: z.Settle.Duration, Steady: z.Steady.Duration, Gap: z.Gap.Duration, Hold: z.Hold.Duration, HoldMost: z.HoldMost.Duration,
+		Quiet: z.Quiet.Duration, Ramp: z.Ramp.Duration, Enough: z.Enough, Lost: z.Lost, Most: z.Most, High: z.High, Cold: z.Cold,
+		Multiple: z.Multiple, Bears: z.Bears, Store: z.Store, Steps: z.Steps}
+}
+
+// check leaves the figures' bounds to package zone.
+func (z *Zones) check(c *checks, l *Fleet) {
+	c.fault(z.Enabled && !l.Record.On(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
+	if err := z.Config().Check(); err != nil {
+		c.faults = append(c.faults, err)
+	}
+	named := func(key string, zones []string) {
+		for _, zone := range zones {
+			c.fault(!isName(zone, longestZone), key, zone, "zones of 1 to 24 bytes without blanks")
+		}
+	}
+	named("fleet.zones.zones", z.Zones)
+	for region, zones := range z.Regions {
+		named("fleet.zones.regions."+region, zones)
+	}
+	c.fault(z.Enabled && len(z.Zones) > 0 && !slices.Contains(z.Zones, l.Zone), "fleet.zone", l.Zone, "one of fleet.zones.zones")
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,14 +17,15 @@
 )
 
 const (
-	// heartbeat is how often a watch says something; silence beyond it, and
-	// some room for a late one, is a dead watch. A cut-off discovery gives no
-	// other sign, and what it has to tell counts as told after 6 s.
+	// heartbeat is how often a watch says something; without a word for dead it is broken.
+	// A cut-off discovery gives no other sign. A word may come a quarter late; what then
+	// stays of the 6 s after which all that was missed counts as told is for two whole
+	// calls and the pauses of who decides when to ask: docs/notes/lists.md has the sum.
 	heartbeat = 2 * time.Second
-	dead      = heartbeat + 600*time.Millisecond
-	// answered is how long a call may wait for its head: discovery serves one
-	// at a time and drops those that waited a second.
-	answered = 1500 * time.Millisecond
+	dead      = heartbeat + heartbeat/4
+	// answered is how long a call may take, from its dial to the end of the answer's head:
+	// discovery serves one at a time and drops those that have waited a second.
+	answered = 1100 * time.Millisecond
 	// largest bounds one message.
 	largest = 8 << 20
 )
@@ -38,6 +38,10 @@
 // Watch follows discovery. It runs one watch at a time, each when it is asked
 // for: what fails is told, and somebody else decides when to ask again.
 type Watch struct {
+	// Dial connects to an address by a deadline, over TCP unless a test has another way.
+	// Set before Run.
+	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
+
 	sink Sink
 	want chan struct{}
 	from int64 // the last generation seen at the address followed; Run's own
@@ -49,7 +53,12 @@
 
 // New returns a Watch of the discovery service at addr.
 func New(addr string, sink Sink) *Watch {
-	return &Watch{addr: addr, sink: sink, want: make(chan struct{}, 1), stop: func() {}}
+	return &Watch{Dial: dial, addr: addr, sink: sink, want: make(chan struct{}, 1), stop: func() {}}
+}
+
+func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
 }
 
 // Subscribe asks for a watch.
@@ -134,24 +143,26 @@
 
 // follow makes one watch and passes on what it says until it ends.
 func (w *Watch) follow(ctx context.Context, addr string) error {
-	d := net.Dialer{Deadline: time.Now().Add(answered), KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	deadline := time.Now().Add(answered)
+	conn, err := w.Dial(ctx, addr, deadline)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
-	l := leg.New(conn)
+	live := &live{Conn: conn}
+	l := leg.New(live)
 	defer l.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	body, err := w.call(l, addr, time.Now().Add(answered))
+	body, err := w.call(l, addr, deadline)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
-	live := &liveReader{conn: conn, body: body}
-	messages := json.NewDecoder(live)
+	live.watched = true
+	bytes := &oneByOne{body: body}
+	messages := json.NewDecoder(bytes)
 	for {
 		var m message
-		live.left = largest
+		bytes.left = largest
 		if err := messages.Decode(&m); err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
@@ -191,24 +202,35 @@
 	return l.R, nil
 }
 
-// liveReader allows each read the time in which a live watch says something,
-// and each message its largest size.
-type liveReader struct {
-	conn net.Conn
+// live allows each read of a watch the time in which it says something.
+type live struct {
+	net.Conn
+	watched bool // the head has come
+}
+
+func (c *live) Read(p []byte) (int, error) {
+	if c.watched {
+		if err := c.SetReadDeadline(time.Now().Add(dead)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Read(p)
+}
+
+// oneByOne asks for a byte at a time, and for no more than a message may have. Asked for
+// more bytes, the reader of chunks waits for the rest of a chunk while it holds a whole list.
+type oneByOne struct {
 	body io.Reader
 	left int
 }
 
-var errLarge = errors.New("message too large")
-
-func (r *liveReader) Read(p []byte) (int, error) {
+func (r *oneByOne) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, errLarge
 	}
-	if err := r.conn.SetReadDeadline(time.Now().Add(dead)); err != nil {
-		return 0, err
-	}
-	n, err := r.body.Read(p[:min(len(p), r.left)])
+	n, err := r.body.Read(p[:min(len(p), 1)])
 	r.left -= n
 	return n, err
 }
+
+var errLarge = fmt.Errorf("a message of more than %d bytes", largest)
--- /dev/null
+++ b/internal/route/ledger_test.go
@@ -0,0 +1,164 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"coralrelay/internal/fleet/account"
+)
+
+var web = &Route{Name: "acme/web:r", Account: "acme", Levels: []string{"acme", "acme/web", "acme/web:r"}}
+
+// ledger returns one with an epoch of a second, in its half 100, and the time.
+func ledger(t interface{ Fatal(...any) }) (*Ledger, time.Duration) {
+	l, err := NewLedger(account.DealConfig{Epoch: time.Second, Hold: 3 * time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, 50 * time.Second
+}
+
+func rights(half int64, paths map[string]account.Figures) account.Rights {
+	even := map[string]account.Figures{}
+	for path := range paths {
+		even[path] = account.Figures{Open: 1, Rate: 4, Retries: 2, Probes: 100}
+	}
+	return account.Rights{Half: half, Paths: paths, Even: even, Of: 1}
+}
+
+// admit asks for n transactions and tells how many were taken, and which level was full.
+func admit(l *Ledger, now time.Duration, retry bool, n int) (taken int, full string) {
+	for range n {
+		ok, over := l.Admit(now, web, retry)
+		if ok {
+			taken++
+		} else {
+			full = over
+		}
+	}
+	return taken, full
+}
+
+func TestEveryLevelBinds(t *testing.T) {
+	free := account.Figures{Open: -1, Rate: -1, Retries: -1, Probes: -1}
+	for _, tt := range []struct {
+		name   string
+		paths  map[string]account.Figures
+		retry  bool
+		taken  int
+		full   string
+		figure string
+	}{
+		{"no bound", map[string]account.Figures{"acme": free, "acme/web": free, "acme/web:r": free}, false, 20, "", ""},
+		{"the account's rate", map[string]account.Figures{"acme": {Open: -1, Rate: 3, Retries: -1, Probes: -1}, "acme/web:r": free}, false, 3, "acme", "rate"},
+		{"the team's standing", map[string]account.Figures{"acme": free, "acme/web": {Open: 4, Rate: 9, Retries: -1, Probes: -1}}, false, 4, "acme/web", "open"},
+		{"the route's retries", map[string]account.Figures{"acme/web:r": {Open: -1, Rate: -1, Retries: 2, Probes: -1}}, true, 2, "acme/web:r", "retries"},
+		{"none of them a retry", map[string]account.Figures{"acme/web:r": {Open: -1, Rate: -1, Retries: 2, Probes: -1}}, false, 20, "", ""},
+		{"no probes", map[string]account.Figures{"acme": {Open: -1, Rate: -1, Retries: -1}}, false, 0, "acme", "probes"},
+		{"nothing is allowed", map[string]account.Figures{"acme": free, "acme/web": {}}, false, 0, "acme/web", "open"},
+		{"the highest is named", map[string]account.Figures{"acme": {Open: -1, Probes: -1}, "acme/web": {}}, false, 0, "acme", "rate"},
+	} {
+		l, now := ledger(t)
+		l.Deal(rights(100, tt.paths), now)
+		taken, full := admit(l, now, tt.retry, 20)
+		if taken != tt.taken || full != tt.full {
+			t.Errorf("%s: %d taken, then %q is full; want %d and %q", tt.name, taken, full, tt.taken, tt.full)
+		}
+		want := map[Refusal]uint64{}
+		if full != "" {
+			want[Refusal{"acme", tt.full, tt.figure}] = uint64(20 - tt.taken)
+		}
+		if got := l.Refused(); fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s: %v refused, want %v", tt.name, got, want)
+		}
+	}
+}
+
+// Tokens are of their half. Before new ones come a node goes by its even part, and what it
+// has used counts then; what may stand is as dealt until the hold is over.
+func TestRightsOverTime(t *testing.T) {
+	l, now := ledger(t)
+	if taken, _ := admit(l, now, false, 5); taken != 5 {
+		t.Errorf("%d of 5 taken before anything was dealt", taken)
+	}
+	for range 5 {
+		l.Closed(web)
+	}
+	one := func(open, rate float64) map[string]account.Figures {
+		return map[string]account.Figures{"acme": {Open: open, Rate: rate, Retries: -1, Probes: -1}}
+	}
+	step := func(what string, ask, want int) {
+		t.Helper()
+		if taken, _ := admit(l, now, false, ask); taken != want {
+			t.Errorf("%s: %d of %d taken, want %d", what, taken, ask, want)
+		}
+	}
+	l.Deal(rights(100, one(9, 7)), now)
+	step("five are used of seven", 9, 2)
+	l.Deal(rights(99, one(9, 99)), now)
+	step("an older half's rights", 9, 0)
+	now += 500 * time.Millisecond
+	step("a half without its rights: four a second", 9, 2)
+	l.Deal(rights(101, one(9, 3)), now)
+	step("what was used counts", 9, 1)
+	if u := l.Use(now); u.Half != 101 || u.Used["acme"] != (account.Figures{Open: 5, Rate: 3}) || u.Prior["acme"].Rate != 7 || u.Wanted["acme"].Rate != 7+7+9 {
+		t.Errorf("told: %+v", u)
+	}
+	now += 2 * time.Second
+	step("within the hold four more may stand, two tokens each half", 9, 2)
+	now += time.Second
+	step("the even part: one may stand", 9, 0)
+	for range 7 {
+		l.Closed(web)
+	}
+	step("and nothing does", 9, 1)
+	l.Closed(web)
+	l.Closed(web) // once too often takes nothing from anyone
+	l.Spent(now, web, 0, 0, 2)
+	now += time.Second
+	if u := l.Use(now); len(u.Used)+len(u.Prior)+len(u.Wanted) != 0 || len(l.counts) != 0 {
+		t.Errorf("told when nothing stands: %+v, %d paths kept", u, len(l.counts))
+	}
+}
+
+// All members' even parts together stay within the limit: half of an epoch's tokens and
+// one, and never more standing.
+func TestEvenPartsTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "members")
+		limit := float64(rapid.IntRange(0, 100_000).Draw(t, "limit")) / 1000
+		first := rapid.Int64Range(0, 1<<40).Draw(t, "half")
+		rate, all, standing := 0.0, 0.0, 0.0
+		for half := first; half < first+20; half++ {
+			rate, standing = 0, 0
+			for place := range n {
+				l, _ := ledger(t)
+				l.half = half
+				l.rights = account.Rights{Place: place, Of: n}
+				rate += l.even("acme", 1, limit/float64(n))
+				standing += l.even("acme", 0, limit/float64(n))
+			}
+			if all += rate; rate > limit/2+1 || standing > limit {
+				t.Fatalf("half %d: %v set-ups of %v a second, %v standing", half, rate, limit, standing)
+			}
+		}
+		if all < 10*limit-float64(n)-1 {
+			t.Fatalf("%v in ten seconds, of %v a second", all, limit)
+		}
+	})
+}
+
+// What a contract's regions have no room for is refused evenly.
+func TestOverOfAContract(t *testing.T) {
+	l, now := ledger(t)
+	r := *web
+	r.Contract, r.Over = "gold", 0.25
+	for i := range 20 {
+		if ok, over := l.Admit(now, &r, false); ok == (i%4 == 3) || !ok && over != "gold" {
+			t.Errorf("transaction %d: %v, over %q", i, ok, over)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/resolve.go
@@ -0,0 +1,73 @@
+package route
+
+import (
+	"slices"
+
+	"coralrelay/balance"
+)
+
+// resolve says where a route's transactions may be drawn; nil for anywhere. What comes
+// first is never widened by what comes later:
+//
+//  1. The module's own: rules, cold and drain limits, then zones' postures, which come as
+//     a grant. A bound only takes from what these leave.
+//  2. The owner's zones: no part and no contract leads out of them.
+//  3. The route's parts: a zone of 0 percent, or of none where there are parts, stays shut.
+//  4. The contract's allocation: it weighs the zones that are left, those of a route with
+//     parts by part times share. If it names none of them it says nothing.
+//  5. Locality is nobody's: what is left is drawn evenly.
+//
+// Parts and shares are of transactions, and the module keeps parts of draws: a zone with
+// twice the next hops is drawn twice as often, so that it keeps half for the same part.
+func resolve(e *Entry, steered *Allocation, ready map[string]int) *balance.Bound {
+	if len(e.Parts) == 0 && len(e.Zones) == 0 && steered == nil {
+		return nil
+	}
+	bound := &balance.Bound{Name: e.Path()}
+	open := func(zone string) bool { return len(e.Zones) == 0 || slices.Contains(e.Zones, zone) }
+	if len(e.Parts) == 0 && steered == nil {
+		for _, zone := range e.Zones {
+			bound.Zones = append(bound.Zones, balance.ZonePart{Zone: zone, Share: 1})
+		}
+		return bound
+	}
+	weights := map[string]float64{}
+	for _, p := range e.Parts {
+		if open(p.Zone) && p.Percent > 0 {
+			weights[p.Zone] = p.Percent
+		}
+	}
+	if steered != nil {
+		both := map[string]float64{}
+		for zone, share := range steered.Shares {
+			weight := 1.0
+			if len(e.Parts) > 0 {
+				weight = weights[zone]
+			}
+			if open(zone) && share*weight > 0 {
+				both[zone] = share * weight
+			}
+		}
+		if len(both) == 0 && len(e.Parts) == 0 { // what the owner may use is all there is
+			return resolve(&Entry{Name: e.Name, Owner: e.Owner, Zones: e.Zones}, nil, ready)
+		}
+		if len(both) > 0 {
+			weights = both
+		}
+	}
+	greatest := 0.0
+	for zone, w := range weights {
+		weights[zone] = w / float64(max(ready[zone], 1))
+		greatest = max(greatest, weights[zone])
+	}
+	for zone, w := range weights {
+		bound.Zones = append(bound.Zones, balance.ZonePart{Zone: zone, Share: w / greatest})
+	}
+	slices.SortFunc(bound.Zones, func(a, b balance.ZonePart) int {
+		if a.Zone < b.Zone {
+			return -1
+		}
+		return 1
+	})
+	return bound
+}
--- /dev/null
+++ b/internal/route/resolve_test.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"coralrelay/internal/fleet/account"
+)
+
+// Each pair of what bounds a route: what comes first is never widened by what comes later.
+func TestPrecedence(t *testing.T) {
+	parts := func(list ...any) (p []account.Part) {
+		for i := 0; i < len(list); i += 2 {
+			p = append(p, account.Part{Zone: list[i].(string), Percent: float64(list[i+1].(int))})
+		}
+		return p
+	}
+	steer := func(shares map[string]float64) *Allocation { return &Allocation{Contract: "c", Shares: shares} }
+	for _, tt := range []struct {
+		name    string
+		zones   []string
+		parts   []account.Part
+		steered *Allocation
+		ready   map[string]int
+		want    string // zones and shares
+	}{
+		{"nothing bounds it", nil, nil, nil, nil, "anywhere"},
+		{"owner's zones", []string{"a", "b"}, nil, nil, nil, "[{a 1} {b 1}]"},
+		{"a canary", nil, parts("a", 20, "b", 80), nil, nil, "[{a 0.25} {b 1}]"},
+		{"a canary in a large zone", nil, parts("a", 50, "b", 50), nil, map[string]int{"a": 40, "b": 10}, "[{a 0.25} {b 1}]"},
+		{"a contract", nil, nil, steer(map[string]float64{"a": 0.2, "b": 0.8}), nil, "[{a 0.25} {b 1}]"},
+		{"owner before parts", []string{"a"}, parts("a", 50, "b", 50), nil, nil, "[{a 1}]"},
+		{"owner before parts that lead out", []string{"a"}, parts("b", 100), nil, nil, "[]"},
+		{"owner before contract", []string{"a"}, nil, steer(map[string]float64{"a": 0.1, "b": 0.9}), nil, "[{a 1}]"},
+		{"owner before contract that leads out", []string{"a", "c"}, nil, steer(map[string]float64{"b": 1}), nil, "[{a 1} {c 1}]"},
+		{"parts before contract", nil, parts("a", 0, "b", 100), steer(map[string]float64{"a": 1}), nil, "[{b 1}]"},
+		{"parts before what a contract explores", nil, parts("b", 100), steer(map[string]float64{"a": 0.02, "b": 0.98}), nil, "[{b 1}]"},
+		{"contract within parts", nil, parts("a", 50, "b", 50), steer(map[string]float64{"a": 1}), nil, "[{a 1}]"},
+		{"contract before locality", nil, nil, steer(map[string]float64{"far": 1}), map[string]int{"near": 9, "far": 1}, "[{far 1}]"},
+		{"bad shares", nil, nil, steer(map[string]float64{"a": -1, "b": 0}), nil, "anywhere"},
+	} {
+		e := Entry{Name: "r", Owner: "acme", Zones: tt.zones, Parts: tt.parts, Contract: "c"}
+		got := "anywhere"
+		if bound := resolve(&e, tt.steered, tt.ready); bound != nil {
+			if got = fmt.Sprint(bound.Zones); bound.Rest != 0 || bound.Name != "acme:r" {
+				t.Errorf("%s: %+v", tt.name, bound)
+			}
+		}
+		if got != tt.want {
+			t.Errorf("%s: %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/told/told_test.go
@@ -0,0 +1,52 @@
+package told
+
+import (
+	"fmt"
+	"testing"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/route"
+)
+
+// The state's regions, scopes and contracts reach a route's bound.
+func TestFromTheRecordToABound(t *testing.T) {
+	regions := map[string][]string{"north": {"a", "b"}, "south": {"c"}}
+	ready := map[string]int{"a": 30, "b": 10, "c": 10}
+	for _, tt := range []struct {
+		name  string
+		scope []string
+		parts []account.Part
+		at    promise.Contract
+		share map[string]float64
+		want  string
+	}{
+		{"no bound", nil, nil, promise.Contract{}, nil, "<nil>"},
+		{"the account's region", []string{"north"}, nil, promise.Contract{}, nil, "[{a 1} {b 1}]"},
+		{"parts of regions, by transactions", nil, []account.Part{{Zone: "north", Percent: 80}, {Zone: "south", Percent: 20}}, promise.Contract{}, nil, "[{a 1} {b 1} {c 1}]"},
+		{"the account's contract", nil, nil, promise.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{b 1} {c 1}]"},
+		{"the route's own", nil, nil, promise.Contract{Name: "gold", Holder: "acme/web:r"}, map[string]float64{"a": 0.75, "c": 0.25}, "[{a 1} {c 1}]"},
+		{"another's contract", nil, nil, promise.Contract{Name: "gold", Holder: "acme/shop"}, map[string]float64{"a": 1}, "<nil>"},
+		{"within the account's region", []string{"south"}, nil, promise.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{c 1}]"},
+	} {
+		r := &account.Route{Name: "r", Owner: "acme/web", Parts: tt.parts}
+		a := account.State{Nodes: map[string]*account.Node{"acme": {Scope: account.Scope{Zones: tt.scope}}, "acme/web": {}},
+			Routes: map[string]*account.Route{r.Path(): r}}
+		p := promise.State{}
+		if tt.at.Name != "" {
+			p.Contracts = []promise.Contract{tt.at}
+			p.Steered = []promise.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
+		}
+		table, err := route.Compile(Whole(7, a, p, regions, ready))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := "<nil>"
+		if b := table.Find(route.Query{Class: "feed"}).Bound; b != nil {
+			got = fmt.Sprint(b.Zones)
+		}
+		if got != tt.want {
+			t.Errorf("%s: %s, want %s", tt.name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/wire.go
@@ -0,0 +1,95 @@
+// Package route finds the route of a transaction among all that the fleet's record holds,
+// says where it may be drawn, and counts what this node uses against its rights. It does
+// no I/O, reads no clock and starts no goroutine.
+package route
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+
+	"coralrelay/internal/fleet/account"
+)
+
+// Wire is what the agent tells its node of the record: the whole, or what has changed since
+// an index. Regions are zones by then.
+type Wire struct {
+	Index uint64         `json:"index"`
+	Whole bool           `json:"whole,omitempty"`
+	Since uint64         `json:"since,omitempty"` // the Index that changes are made to
+	Set   []Entry        `json:"set,omitempty"`   // routes that are new or others than before
+	Gone  []string       `json:"gone,omitempty"`  // paths of routes that are no more
+	Steer []Allocation   `json:"steer,omitempty"` // by contract; without shares it is no more
+	Ready map[string]int `json:"ready,omitempty"` // ready next hops by zone, all of them; nil for as before
+}
+
+// Entry is a route as the node needs it.
+type Entry struct {
+	Name     string         `json:"name"`  // within its owner
+	Owner    string         `json:"owner"` // path, such as acme/web
+	Match    account.Match  `json:"match"`
+	Parts    []account.Part `json:"parts,omitempty"` // in percent of the route's transactions
+	Zones    []string       `json:"zones,omitempty"` // that the owner may use; empty for all
+	Contract string         `json:"contract,omitempty"`
+}
+
+// Path is how limits and counts name the route.
+func (e *Entry) Path() string { return e.Owner + ":" + e.Name }
+
+// Allocation is where a contract's transactions go: shares of zones that add up to 1, what
+// explores among them.
+type Allocation struct {
+	Contract string             `json:"contract"`
+	Shares   map[string]float64 `json:"shares,omitempty"`
+	Over     float64            `json:"over,omitempty"` // of its set-ups, those that nobody has room for
+}
+
+// most bounds a table: as many routes as an account room keeps, and more.
+const most = 1 << 16
+
+func (e *Entry) check() error {
+	m := &e.Match
+	switch {
+	case e.Name == "" || e.Owner == "":
+		return fmt.Errorf("route %.80q: no name or no owner", e.Path())
+	case (m.From != 0 || m.To != 0) && !(m.From >= 0 && m.From < m.To && m.To <= 1):
+		return fmt.Errorf("route %.80q: range %v to %v: want 0 <= from < to <= 1", e.Path(), m.From, m.To)
+	}
+	return nil
+}
+
+// Diff returns what has to be told of after to who has before; both are whole.
+func Diff(before, after Wire) Wire {
+	w := Wire{Index: after.Index, Since: before.Index}
+	was := map[string]*Entry{}
+	for i := range before.Set {
+		was[before.Set[i].Path()] = &before.Set[i]
+	}
+	for _, e := range after.Set {
+		if old := was[e.Path()]; old == nil || !reflect.DeepEqual(*old, e) {
+			w.Set = append(w.Set, e)
+		}
+		delete(was, e.Path())
+	}
+	w.Gone = slices.Sorted(maps.Keys(was))
+	steered := map[string]Allocation{}
+	for _, a := range before.Steer {
+		steered[a.Contract] = a
+	}
+	for _, a := range after.Steer {
+		if old, ok := steered[a.Contract]; !ok || old.Over != a.Over || !maps.Equal(old.Shares, a.Shares) {
+			w.Steer = append(w.Steer, a)
+		}
+		delete(steered, a.Contract)
+	}
+	for _, name := range slices.Sorted(maps.Keys(steered)) {
+		w.Steer = append(w.Steer, Allocation{Contract: name})
+	}
+	if !maps.Equal(before.Ready, after.Ready) {
+		if w.Ready = after.Ready; w.Ready == nil {
+			w.Ready = map[string]int{}
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/rules/list_discovery_test.go
@@ -0,0 +1,198 @@
+package rules_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/roster"
+)
+
+// manner is how discovery takes a call.
+type manner int
+
+const (
+	lists   manner = iota // it answers with the whole list and then says something every beat
+	turns                 // it answers 503
+	hangs                 // it never says a word
+	refuses               // nobody listens
+)
+
+// discovery takes one call at a time, and drops those that have waited for a second.
+type discovery struct {
+	manner func(call int) manner // of a node's calls, from 0; asked one at a time
+	takes  func() time.Duration  // one call
+	beat   func() time.Duration  // until the next word of a watch
+	queue  chan visit
+	parts  sync.WaitGroup
+
+	mu      sync.Mutex
+	calls   map[string][]time.Time // by node
+	quiet   chan struct{}          // closed when all watches fall silent
+	request map[string]string      // a node's last
+}
+
+type visit struct {
+	call int
+	how  manner
+	at   time.Time
+	conn net.Conn
+}
+
+func newDiscovery(m func(call int) manner) *discovery {
+	return &discovery{manner: m, takes: func() time.Duration { return 4 * ms }, beat: func() time.Duration { return 2 * time.Second },
+		queue: make(chan visit, 4096), calls: map[string][]time.Time{}, request: map[string]string{}, quiet: make(chan struct{})}
+}
+
+func (d *discovery) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case v := <-d.queue:
+			if time.Since(v.at) > time.Second {
+				v.conn.Close()
+				continue
+			}
+			time.Sleep(d.takes())
+			switch v.how {
+			case lists:
+				d.parts.Go(func() { d.watch(ctx, v) })
+			case turns:
+				fmt.Fprint(v.conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+				v.conn.Close()
+			}
+		}
+	}
+}
+
+// watch tells the list, then a word each beat until all watches fall silent.
+func (d *discovery) watch(ctx context.Context, v visit) {
+	d.mu.Lock()
+	quiet := d.quiet
+	d.mu.Unlock()
+	_, err := fmt.Fprintf(v.conn, "HTTP/1.1 200 OK\r\n\r\n{\"generation\":%d,\"reset\":true,\"instances\":["+
+		`{"instanceId":"s1","hostPort":"127.1.0.1:7070","lifecycle":"active"}]}`+"\n", 7+v.call)
+	for err == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-quiet:
+			_, _ = io.WriteString(v.conn, "\n")
+			return
+		case <-time.After(d.beat()):
+			_, err = io.WriteString(v.conn, "\n")
+		}
+	}
+}
+
+// hush has all watches fall silent at one moment, behind a last word.
+func (d *discovery) hush() (last time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.quiet)
+	d.quiet = make(chan struct{})
+	return time.Now()
+}
+
+// dial is a node's way to discovery.
+func (d *discovery) dial(node string) func(context.Context, string, time.Time) (net.Conn, error) {
+	return func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
+		d.mu.Lock()
+		call := len(d.calls[node])
+		d.calls[node] = append(d.calls[node], time.Now())
+		how := d.manner(call)
+		d.mu.Unlock()
+		if how == refuses {
+			return nil, errRefused
+		}
+		near, far := net.Pipe()
+		d.parts.Go(func() { // sockets have buffers and pipes have not
+			r := bufio.NewReader(far)
+			line, _ := r.ReadString('\n')
+			d.mu.Lock()
+			d.request[node] = addr + " " + strings.TrimSpace(line)
+			d.mu.Unlock()
+			d.queue <- visit{call, how, time.Now(), far}
+			_, _ = io.Copy(io.Discard, r)
+			far.Close()
+		})
+		return near, nil
+	}
+}
+
+// follower is what of a node follows the list.
+type follower struct {
+	core  *decide.Core
+	watch *roster.Watch
+
+	mu   sync.Mutex
+	told []roster.Update
+	at   []time.Time
+}
+
+func (f *follower) Listed(u roster.Update) {
+	f.mu.Lock()
+	f.told, f.at = append(f.told, u), append(f.at, time.Now())
+	f.mu.Unlock()
+	f.core.Listed(u.List())
+}
+
+func (*follower) Probe(string) {}
+
+// whole is when a whole list came first after a time; zero if none has.
+func (f *follower) whole(after time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, u := range f.told {
+		if u.Kind == balance.ListFull && f.at[i].After(after) {
+			return f.at[i]
+		}
+	}
+	return time.Time{}
+}
+
+// follow starts a follower that ends with ctx.
+func (d *discovery) follow(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
+	f := &follower{}
+	f.watch = roster.New("discovery:1", f)
+	f.watch.Dial = d.dial(node)
+	core, err := decide.New(decide.NewClock(), seed, set, f, f.watch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.core = core
+	d.parts.Go(func() { core.Run(ctx) })
+	d.parts.Go(func() { f.watch.Run(ctx, roster.Update{}) })
+	return f
+}
+
+// asked are the settings of one of n nodes that ask for their list.
+func asked(n int) balance.Settings {
+	return balance.Settings{Instances: n, Tick: 4 * ms, ListAsked: true, AskWithin: 10 * time.Second,
+		Classes: []balance.Class{{Name: "feed", Aim: 300 * ms, Deadline: time.Second}}, Limits: balance.Limits{MaxAttempts: 4}}
+}
+
+// since is when a node's calls left, from a time on.
+func (d *discovery) since(node string, from time.Time) (calls []time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.calls[node] {
+		if at.After(from) {
+			calls = append(calls, at.Sub(from))
+		}
+	}
+	return calls
+}
+
+// upTo draws a time.
+func upTo(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d) + 1)) }
--- /dev/null
+++ b/internal/rules/restart_drain_test.go
@@ -0,0 +1,159 @@
+package rules_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+)
+
+// answerAfter is how long next hops take to answer a line; what hangs answers none.
+var answerAfter = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
+
+// restarted is a node on pipes whose next hops answer each in its own time.
+type restarted struct {
+	talk  *talk
+	parts sync.WaitGroup
+}
+
+// hop serves one connection of a next hop.
+func (r *restarted) hop(how string, conn net.Conn) {
+	defer conn.Close()
+	id, said := "", 0
+	var out sync.Mutex
+	say := func() { // by itself or as an answer: one line at a time, numbered
+		out.Lock()
+		defer out.Unlock()
+		if _, err := fmt.Fprintf(conn, "line %d\r\n", said+1); err == nil {
+			said++
+			r.talk.says(id, "down", said)
+		}
+	}
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		n := 0
+		switch word, rest, _ := strings.Cut(lines.Text(), " "); word {
+		case "STATS":
+			fmt.Fprint(conn, "PONG outstanding=1,x0=0.1,recent_ms=2\r\n")
+		case "OPEN":
+			id, _, _ = strings.Cut(rest, " ")
+			fmt.Fprint(conn, "UP r1\r\n")
+		default:
+			_, _ = fmt.Sscanf(rest, "%d", &n)
+			r.talk.hears(id, "up", n)
+			if how != "hung" {
+				r.parts.Go(func() {
+					time.Sleep(answerAfter[how])
+					say()
+				})
+			}
+		}
+	}
+}
+
+// client opens a connection and sends on it, answered or not, for as long as it stands.
+func (r *restarted) client(id string, conn net.Conn) {
+	defer conn.Close()
+	fmt.Fprintf(conn, "OPEN %s k%s c=feed,d=1000\r\n", id, id)
+	lines := bufio.NewScanner(conn)
+	if !lines.Scan() || lines.Text() != "UP r1" {
+		return // it never stood, and is found to have had no MOVE
+	}
+	moved := make(chan struct{})
+	r.parts.Go(func() {
+		for n := 1; ; n++ {
+			if _, err := fmt.Fprintf(conn, "line %d\r\n", n); err != nil {
+				return
+			}
+			r.talk.says(id, "up", n)
+			select {
+			case <-moved:
+				return
+			case <-time.After(70 * ms):
+			}
+		}
+	})
+	for lines.Scan() {
+		n := 0
+		if lines.Text() == "MOVE" {
+			r.talk.note(r.talk.moved, id)
+			close(moved)
+			time.Sleep(30 * ms) // what else it has sent is read meanwhile
+			return
+		}
+		_, _ = fmt.Sscanf(lines.Text(), "line %d", &n)
+		r.talk.hears(id, "down", n)
+	}
+	r.talk.note(r.talk.ended, id)
+}
+
+// A planned restart while clients go on sending: until a connection is told to MOVE it has
+// all its lines, both ways, also where its next hop answers late; and none ends without
+// MOVE, also where it does not answer at all.
+func TestRestartLosesNothing(t *testing.T) {
+	for _, longest := range []time.Duration{1200 * ms, 3 * time.Second} {
+		t.Run(longest.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				r := &restarted{talk: newTalk()}
+				door := listener{make(chan net.Conn), make(chan struct{})}
+				hops := nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
+					near, far := net.Pipe()
+					r.parts.Go(func() { r.hop(addr, far) })
+					return near, nil
+				}
+				set := asked(1)
+				set.Reports.ByProbe, set.Limits.Probes = true, true
+				core, err := decide.New(decide.NewClock(), 1, set, hops, noRoster{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				hops.Watch(core)
+				server := caller.New(core, hops, caller.Limits{Sockets: 1000})
+				r.parts.Go(func() { core.Run(ctx) })
+				u := roster.Update{Kind: balance.ListFull}
+				for how := range answerAfter {
+					u.Entries = append(u.Entries, roster.Entry{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
+				}
+				hops.Update(true, u.Entries, time.Now())
+				core.Listed(u.List())
+				r.parts.Go(func() { _ = server.Serve(door) })
+				var callers []string
+				for i := range 60 {
+					id := fmt.Sprint("c", i)
+					callers = append(callers, id)
+					near, far := net.Pipe()
+					door.conns <- near
+					r.parts.Go(func() { r.client(id, far) })
+					time.Sleep(10 * ms)
+				}
+				begun := time.Now() // as SIGTERM does it
+				server.Drain(caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + 200*ms), End: begun.Add(longest + 400*ms)})
+				if took := time.Since(begun); took > longest+400*ms || server.Open() > 0 {
+					t.Errorf("it took %v, %d connections are left", took, server.Open())
+				}
+				_ = door.Close()
+				server.Close()
+				cancel()
+				r.parts.Wait()
+				for _, wrong := range r.talk.broken(callers) {
+					t.Error(wrong)
+				}
+				if len(r.talk.heard) < 1000 {
+					t.Errorf("only %d lines were passed on", len(r.talk.heard))
+				}
+			})
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -101,3 +102,16 @@
 func Seconds(s float64) time.Duration {
 	return time.Duration(math.Round(s*1e6)) * time.Microsecond
 }
+
+// Watched returns settings as the real node goes by them: it hears of no list that it has
+// not asked for. A pushed one is asked for from the first moment on; where the settings name
+// no time within which, what a silent watch has missed counts as told after toldAfter.
+func Watched(s balance.Settings) balance.Settings {
+	if !s.ListAsked {
+		s.ListAsked, s.AskNow, s.AskWithin = true, true, cmp.Or(s.AskWithin, toldAfter)
+	}
+	return s
+}
+
+// toldAfter is when all that a silent watch has missed counts as told.
+const toldAfter = 6 * time.Second
