--- a/cmd/coralfleet/parts.go
+++ b/cmd/coralfleet/parts.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/agent"
 	"coralrelay/internal/fleet/entry"
 	"coralrelay/internal/fleet/member"
@@ -56,7 +57,7 @@
 		return all
 	}
 	r, err := record.Open(record.Options{Name: f.Name, Zone: f.Zone, Dir: f.Record.Dir, Bind: f.Record.Bind, Advertise: f.Record.Advertise,
-		Voters: voters, Key: key, Genesis: entry.Genesis{Root: root, Zone: f.Zones.Config()}, Lease: f.Record.Lease.Duration,
+		Voters: voters, Key: key, Genesis: entry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.Record.Lease.Duration,
 		Peers: peers, Log: toLog{}, Ignore: record.Guards{Commit: sabotage.On("commit"), Chain: sabotage.On("chain"),
 			Sync: sabotage.On("sync"), Stale: sabotage.On("stale")}})
 	if err != nil {
@@ -70,3 +71,9 @@
 	})
 	return nil
 }
+
+// accountGuards are those that a scene takes out; in other builds all are in.
+func accountGuards() account.Guards {
+	return account.Guards{Parent: sabotage.On("parent"), Subtree: sabotage.On("subtree"), Revoke: sabotage.On("revoke"),
+		Half: sabotage.On("half"), CallBack: sabotage.On("callback")}
+}
--- /dev/null
+++ b/cmd/coralrelay/command_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestCommand(t *testing.T) {
+	for _, tt := range []struct {
+		args, served, says, fails string
+	}{
+		{args: "", served: "-"},
+		{args: "serve", served: "-"},
+		{args: "--config a.json", served: "a.json"},
+		{args: "serve --config=b.cue", served: "b.cue"},
+		{args: "version", says: "coralrelay "},
+		{args: "--help", says: "Usage: coralrelay"},
+		{args: "version --config a.json", fails: "config", says: "Usage"},
+		{args: "serve now", fails: `"now"`},
+		{args: "--confg a", fails: "confg", says: "Usage"},
+	} {
+		t.Run(tt.args, func(t *testing.T) {
+			var out strings.Builder
+			served := ""
+			err := command(strings.Fields(tt.args), &out, func(file string) error { served = max(file, "-"); return nil })
+			if (err != nil) != (tt.fails != "") || err != nil && !strings.Contains(err.Error(), tt.fails) {
+				t.Errorf("error %v, want one with %q", err, tt.fails)
+			}
+			if served != tt.served || !strings.HasPrefix(out.String(), tt.says) && tt.fails == "" {
+				t.Errorf("served %q, want %q; said %q", served, tt.served, out.String())
+			}
+		})
+	}
+}
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -11,30 +11,11 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/alecthomas/kong"
-
 	"coralrelay/internal/config"
 	"coralrelay/internal/logs"
 	"coralrelay/internal/operator"
 )
 
-// cli is the command line. Without a command the node serves.
-type cli struct {
-	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve, as told by the environment and the file that BALANCER_CONFIG names (default)."`
-	Version versionCmd `cmd:"" help:"Print the version and end."`
-}
-
-type serveCmd struct {
-	Config string `placeholder:"FILE" help:"The operator's own file, CUE or JSON; without it all that goes beyond the platform is off."`
-}
-
-type versionCmd struct{}
-
-func (versionCmd) Run() error {
-	fmt.Println("coralrelay", version())
-	return nil
-}
-
 // version is what the build knows of its commit.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
@@ -60,9 +41,7 @@
 	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	logs.Set(os.Stderr, false)
-	k := kong.Parse(&cli{}, kong.Name("coralrelay"), kong.Description(about),
-		kong.BindTo(terminate, (*context.Context)(nil)), kong.Bind((<-chan os.Signal)(hangUps)))
-	if err := k.Run(); err != nil {
+	if err := command(os.Args[1:], os.Stdout, func(file string) error { return start(terminate, hangUps, file) }); err != nil {
 		slog.Error("coralrelay", "err", err)
 		os.Exit(1)
 	}
@@ -74,11 +53,12 @@
 $BALANCER_LISTEN and $BALANCER_DISCOVERY win over the file. SIGHUP reads both files again, SIGTERM
 moves the connections and ends. README.md has the keys.`
 
-func (c *serveCmd) Run(terminate context.Context, hangUps <-chan os.Signal) error {
+// start reads the files and serves. file is the operator's own, empty for none.
+func start(terminate context.Context, hangUps <-chan os.Signal, file string) error {
 	own := operator.Default()
-	if c.Config != "" {
+	if file != "" {
 		var err error
-		if own, err = operator.Load(c.Config); err != nil {
+		if own, err = operator.Load(file); err != nil {
 			return err
 		}
 		logs.Set(os.Stderr, own.Log.Format == "json")
@@ -91,5 +71,5 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	limit(platform.Limits)
-	return serve(terminate, hangUps, platform, own, c.Config)
+	return serve(terminate, hangUps, platform, own, file)
 }
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,9 +23,9 @@
 )
 
 // writ is a record whose state the test sets.
-type writ struct{ view record.View }
+type writ struct{ view atomic.Pointer[record.View] }
 
-func (h *writ) View() record.View        { return h.view }
+func (h *writ) View() record.View        { return *h.view.Load() }
 func (h *writ) Changed() <-chan struct{} { return nil }
 func (h *writ) Leads() bool              { return false }
 func (h *writ) Propose(context.Context, entry.Entry) (o entry.Outcome, err error) {
@@ -34,7 +35,6 @@
 // asker is an item whose answer is one word.
 type asker struct {
 	decide.Request
-	core   *decide.Core
 	answer chan string
 }
 
@@ -76,7 +76,9 @@
 			r := &account.Route{Name: "r", Owner: "acme", Match: account.Match{Tenant: "acme"}, Parts: []account.Part{{Zone: "b", Percent: 100}}, Limits: free}
 			return &entry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
 		}
-		log := &writ{view: record.View{State: tree(4, -1), Fresh: true, Heard: time.Now()}}
+		log, state := &writ{}, tree(0, -1)
+		set := func() { log.view.Store(&record.View{State: state, Fresh: true, Heard: time.Now()}) }
+		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
 			Member: member.NewAgent("n1", share.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, share.Guards{}, clock)})
 		go a.Run(ctx)
@@ -122,7 +124,7 @@
 			got := map[string]int{}
 			for range n {
 				number++
-				f := &asker{Request: decide.Request{ID: fmt.Sprint(number), Class: "feed", Tenant: tenant, Deadline: time.Now().Add(time.Second)}, core: core, answer: make(chan string, 1)}
+				f := &asker{Request: decide.Request{ID: fmt.Sprint(number), Class: "feed", Tenant: tenant, Deadline: time.Now().Add(time.Second)}, answer: make(chan string, 1)}
 				began := time.Now()
 				core.Submit(f, hops)
 				word := <-f.answer
@@ -141,7 +143,7 @@
 		}
 		pass := func(d time.Duration) {
 			time.Sleep(d)
-			log.view.Heard = time.Now()
+			set()
 			synctest.Wait()
 			exchange()
 			exchange()
@@ -152,11 +154,10 @@
 			}
 		}
 
-		log.view.State = tree(0, -1)
 		pass(150 * time.Millisecond)
 		expect("before the list, no room", open("acme", 1), "1 busy with a pause, ")
 		core.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{{ID: "a1", Zone: "a"}, {ID: "b1", Zone: "b"}}})
-		log.view.State = tree(4, -1)
+		state = tree(4, -1)
 		pass(850 * time.Millisecond) // to the next epoch: four tokens
 		expect("first half", open("acme", 6), "4 b1, 2 busy with a pause, ")
 		if got := open("", 20); got == "20 b1, " || got == "20 a1, " {
@@ -168,7 +169,7 @@
 		expect("next epoch", open("acme", 2), "2 b1, ")
 		pass(500 * time.Millisecond)
 		expect("what was left, again", open("acme", 3), "2 b1, 1 busy with a pause, ")
-		log.view.State = tree(-1, 9) // eight stand
+		state = tree(-1, 9) // eight stand
 		pass(500 * time.Millisecond)
 		expect("standing", open("acme", 3), "1 b1, 2 busy with a pause, ")
 		for _, f := range standing {
--- a/internal/fleet/account/state.go
+++ b/internal/fleet/account/state.go
@@ -42,7 +42,7 @@
 // New returns the state in which only the root key may do anything.
 func New(root []byte) State { return State{Root: root} }
 
-// KeyName is what entries and grants call a public key; entry.KeyName is the same.
+// KeyName is what entries and grants call a public key.
 func KeyName(public []byte) string {
 	sum := sha256.Sum256(public)
 	return base64.RawURLEncoding.EncodeToString(sum[:9])
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -68,7 +68,7 @@
 		a.alone.Ignore, a.watch.Ignore = o.Guards, o.Guards
 	}
 	if o.Accounts != nil {
-		a.dealing.cfg = *o.Accounts
+		a.dealing.cfg, a.dealing.jobs = *o.Accounts, make(chan job, 1)
 	}
 	if o.Promises != nil {
 		a.keeping = newKeeping(o)
@@ -83,6 +83,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a.keeping.run(ctx, &proposals)
+	proposals.Go(func() { a.dealing.run(ctx, a) })
 	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -19,13 +20,18 @@
 	// mostFilled bounds what is reckoned of words that were cut; whose word is beyond it
 	// counts as not heard, and as having spent all that it had.
 	mostFilled = 200_000
+	// dealing is awaited for so long: a node that asks has more to hear.
+	awaited = 50 * time.Millisecond
 )
 
 // dealing is what the node may use of accounts' limits.
 type dealing struct {
 	cfg account.DealConfig
 
-	mu     sync.Mutex // held while a deal is made: a node asks over one connection
+	jobs chan job // holds one at most
+
+	mu     sync.Mutex
+	busy   bool // a deal is under way
 	own    account.Use
 	last   account.Rights
 	number uint64 // of the last deal: when it was made, or later
@@ -36,6 +42,29 @@
 	parts  [2][]account.Rights // with even parts, and without
 }
 
+// job is what one deal is made of.
+type job struct {
+	now   time.Duration
+	view  record.View
+	own   account.Use
+	uses  []member.Use
+	among account.Rights
+	done  chan struct{}
+}
+
+// run makes deals until ctx ends.
+func (d *dealing) run(ctx context.Context, a *Agent) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-d.jobs:
+			d.take(a, j, d.deal(a, j))
+			close(j.done)
+		}
+	}
+}
+
 // tell puts rights into the node's answer, if they are news to it. They are dealt once in a
 // half epoch, as the node's own word of it comes, and again as that of others comes.
 func (d *dealing) tell(a *Agent, now time.Duration, v record.View, s *link.Said, to *link.Told) {
@@ -61,9 +90,21 @@
 			heard++
 		}
 	}
-	if d.number == 0 || half != d.last.Half || (word || half%2 == 1 && heard > d.heard) && now >= d.made+spared*d.cost {
-		d.heard = heard
-		d.deal(a, now, v, uses)
+	if due := d.number == 0 || half != d.last.Half || (word || half%2 == 1 && heard > d.heard) && now >= d.made+spared*d.cost; due && !d.busy {
+		d.busy, d.heard = true, heard
+		j := job{now, v, d.own, uses, d.among(a), make(chan struct{})}
+		d.jobs <- j
+		d.mu.Unlock()
+		late := time.NewTimer(awaited)
+		select {
+		case <-j.done:
+		case <-late.C:
+		}
+		late.Stop()
+		d.mu.Lock()
+	}
+	if d.number == 0 {
+		return
 	}
 	parts := d.parts[0]
 	if s.Even >= d.even && s.Even <= d.number {
@@ -83,34 +124,38 @@
 
 // deal reckons this half's rights anew. Who has not heard the record for the hold goes by its
 // even part.
-func (d *dealing) deal(a *Agent, now time.Duration, v record.View, uses []member.Use) {
-	var r account.Rights
-	tree := v.State.Accounts
-	if a.lost(now, v, d.cfg.Hold) {
-		r = account.Alone(now, d.cfg, tree, d.own, d.among(a))
+func (d *dealing) deal(a *Agent, j job) (r account.Rights) {
+	tree := j.view.State.Accounts
+	if a.lost(j.now, j.view, d.cfg.Hold) {
+		r = account.Alone(j.now, d.cfg, tree, j.own, j.among)
 	} else {
-		r = account.Deal(now, d.cfg, tree, whole(uses, v.State, int64(now/(d.cfg.Epoch/2))), a.Member.Holders(), a.Name)
+		r = account.Deal(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Member.Holders(), a.Name)
 	}
 	for _, m := range []map[string]account.Figures{r.Paths, r.Even} { // no bound is what the node takes silence for
 		maps.DeleteFunc(m, func(_ string, f account.Figures) bool {
 			return f.Open < 0 && f.Rate < 0 && f.Retries < 0 && f.Probes < 0
 		})
 	}
-	d.made = now
-	d.cost = a.Clock() - now
+	return r
+}
+
+// take tells the node of a deal from now on, if it is another than the last.
+func (d *dealing) take(a *Agent, j job, r account.Rights) {
+	bare := r
+	bare.Even = nil
+	parts := [2][]account.Rights{link.RightsParts(r, link.Part), link.RightsParts(bare, link.Part)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy, d.made, d.cost = false, j.now, a.Clock()-j.now
 	same := maps.Equal(r.Even, d.last.Even) && r.Place == d.last.Place && r.Of == d.last.Of
 	if d.number != 0 && same && r.Half == d.last.Half && maps.Equal(r.Paths, d.last.Paths) {
 		return
 	}
-	d.number = max(uint64(now), d.number+1)
+	d.number = max(uint64(j.now), d.number+1)
 	if !same || d.even == 0 {
 		d.even = d.number
 	}
-	d.last = r
-	d.parts[0] = link.RightsParts(r, link.Part)
-	r.Even = nil
-	d.parts[1] = link.RightsParts(r, link.Part)
-	d.cost = a.Clock() - now
+	d.last, d.parts = r, parts
 }
 
 // lost tells whether the record has not been heard for the hold.
--- a/internal/fleet/entry/entry_test.go
+++ b/internal/fleet/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"encoding/json"
+	"errors"
 	"reflect"
 	"strings"
 	"testing"
@@ -111,7 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	good := Entry{Kind: Accounts, By: "m1", At: 5, Why: "a <new> partner", Key: KeyName(public),
+	good := Entry{Kind: Accounts, By: "m1", At: 5, Why: "a <new> partner", Key: account.KeyName(public),
 		Body: []byte(`{"base": 0, "ops": [{"do": "found", "path": "acme", "node": {"limits": {}}}]}`)}
 	good.Sig = ed25519.Sign(private, good.Signed())
 	moved := good
@@ -134,9 +135,17 @@
 			t.Errorf("%s changed: %v", what, err)
 		}
 	}
+	// No key changes what members decide by what they saw.
+	for kind, body := range map[Kind]string{Zones: `{"base":0,"set":[],"over":0.5,"zones":["a"]}`, Contracts: `{"steer":[{"contract":"c","shares":{}}]}`} {
+		e := Entry{Kind: kind, Key: good.Key, Body: []byte(body)}
+		e.Sig = ed25519.Sign(private, e.Signed())
+		if err := s.Check(raw(t, e)); !errors.Is(err, errMembers) {
+			t.Errorf("%s, signed: %v", kind, err)
+		}
+	}
 	// What is signed with spaces in it, or with letters that JSON escapes, travels.
 	body, _ := json.Marshal(account.Change{Ops: []account.Op{{Do: account.Found, Path: "<&>"}}})
-	odd := Entry{Kind: Accounts, Key: KeyName(public), Body: []byte(strings.ReplaceAll(string(body), `\u003c`, "<"))}
+	odd := Entry{Kind: Accounts, Key: account.KeyName(public), Body: []byte(strings.ReplaceAll(string(body), `\u003c`, "<"))}
 	odd.Sig = ed25519.Sign(private, odd.Signed())
 	if err := s.Check(raw(t, odd)); err == nil || strings.Contains(err.Error(), "signature") {
 		t.Errorf("a path that is none: %v", err)
--- /dev/null
+++ b/internal/fleet/entry/state.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/zone"
+)
+
+// Outcome says what became of an entry.
+type Outcome struct {
+	Index  uint64 `json:"index"`
+	Taken  bool   `json:"taken"`
+	Reason string `json:"reason,omitempty"` // why it was not
+}
+
+// State is what all entries up to Index add up to. It is never changed in place, so that
+// readers may keep it.
+type State struct {
+	Genesis   Genesis       `json:"genesis"`
+	Index     uint64        `json:"index"`
+	Hash      Hash          `json:"hash"`
+	Zones     zone.State    `json:"zones"`
+	Accounts  account.State `json:"accounts"`
+	Contracts promise.State `json:"contracts"`
+}
+
+// New returns the state before the first entry.
+func New(g Genesis) (*State, error) {
+	if len(g.Root) != 0 && len(g.Root) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("root: %d bytes are no Ed25519 public key", len(g.Root))
+	}
+	if err := g.Zone.Check(); err != nil {
+		return nil, err
+	}
+	raw, err := json.Marshal(g)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{Genesis: g, Hash: sha256.Sum256(raw), Accounts: account.New(g.Root)}
+	s.Accounts.Ignore = g.Ignore
+	return s, nil
+}
+
+// Adopt takes over a state that was written down, before it is used: it must have begun as
+// g says, and gets what is not written.
+func (s *State) Adopt(g Genesis) error {
+	theirs, err := json.Marshal(s.Genesis)
+	if err != nil {
+		return err
+	}
+	ours, err := json.Marshal(g)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(theirs, ours) {
+		return errors.New("state: of another beginning, root or zones differ")
+	}
+	s.Genesis, s.Accounts.Ignore = g, g.Ignore
+	return nil
+}
+
+// Apply returns the state after one more entry, as it stands in the log. One that is not
+// taken changes nothing but index and hash.
+func (s *State) Apply(raw []byte) (*State, Outcome) {
+	next := *s
+	next.Index++
+	h := sha256.New()
+	h.Write(s.Hash[:])
+	_ = binary.Write(h, binary.BigEndian, next.Index)
+	h.Write(raw)
+	h.Sum(next.Hash[:0])
+	changed, err := s.take(raw)
+	if err != nil {
+		return &next, Outcome{Index: next.Index, Reason: err.Error()}
+	}
+	next.Zones, next.Accounts, next.Contracts = changed.Zones, changed.Accounts, changed.Contracts
+	return &next, Outcome{Index: next.Index, Taken: true}
+}
+
+// Check tells whether an entry would be taken now, as Apply does.
+func (s *State) Check(raw []byte) error {
+	_, err := s.take(raw)
+	return err
+}
+
+// errMembers is that a key signs what the fleet's members decide among themselves.
+var errMembers = errors.New("this is the members' own decision, and no key's")
+
+// take returns a state of which only the rooms count.
+func (s *State) take(raw []byte) (*State, error) {
+	if len(raw) > Largest {
+		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), Largest)
+	}
+	var e Entry
+	if err := Strict(raw, &e); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	if err := s.signed(&e); err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Kind, err)
+	}
+	next := *s
+	var err error
+	switch e.Kind {
+	case Zones:
+		var c zone.Change
+		if err = Strict(e.Body, &c); err == nil && e.Key != "" {
+			err = errMembers
+		}
+		if err == nil {
+			next.Zones, err = s.Zones.Apply(s.Genesis.Zone, c)
+		}
+	case Accounts:
+		var c account.Change
+		if err = Strict(e.Body, &c); err == nil {
+			next.Accounts, err = s.Accounts.Apply(c, e.Key)
+		}
+	case Contracts:
+		var c promise.Change
+		if err = Strict(e.Body, &c); err == nil && e.Key != "" && len(c.Steer) > 0 {
+			err = errMembers
+		}
+		if err == nil {
+			next.Contracts, err = s.Contracts.Apply(c, e.At, func(holder string) error { return s.Accounts.MayPromise(e.Key, holder) })
+		}
+	case Settings:
+		err = errors.New("no entry of this kind is taken yet")
+	default:
+		err = errors.New("unknown kind")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", e.Kind, err)
+	}
+	return &next, nil
+}
+
+// signed holds an entry to its signature. Without a key it is a member's own, and the room
+// decides what such a one may change.
+func (s *State) signed(e *Entry) error {
+	if e.Key == "" {
+		if len(e.Sig) > 0 {
+			return errors.New("a signature, but no key")
+		}
+		return nil
+	}
+	public, ok := s.Accounts.Public(e.Key)
+	if !ok {
+		return fmt.Errorf("key %.40q: nobody's", e.Key)
+	}
+	if !ed25519.Verify(public, e.Signed(), e.Sig) {
+		return fmt.Errorf("key %.40q: the signature is not good", e.Key)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/link/parts_test.go
@@ -0,0 +1,101 @@
+package link
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/route"
+)
+
+func table(routes, gone, steered int) route.Wire {
+	w := route.Wire{Index: 9, Since: 4, Ready: map[string]int{"a": 3}}
+	for i := range routes {
+		w.Set = append(w.Set, route.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, Zones: []string{"eu-a", "eu-b"}})
+	}
+	for i := range gone {
+		w.Gone = append(w.Gone, fmt.Sprint("account/team:gone-", i))
+	}
+	for i := range steered {
+		w.Steer = append(w.Steer, route.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
+	}
+	return w
+}
+
+func dealt(paths int, even bool) account.Rights {
+	r := account.Rights{Half: 7, Of: 3, Paths: map[string]account.Figures{}}
+	for i := range paths {
+		r.Paths[fmt.Sprint("account/team:", i)] = account.Figures{Open: -1, Rate: float64(i), Retries: -1, Probes: -1}
+	}
+	if even {
+		r.Even = maps.Clone(r.Paths)
+	}
+	return r
+}
+
+// Whatever is cut comes together again, also where the agent begins anew in between or
+// passes on to something newer; what is incomplete is never used.
+func TestPartsComeTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 20)
+		w, r := table(n.Draw(t, "routes"), n.Draw(t, "gone"), n.Draw(t, "steered")), dealt(n.Draw(t, "paths")+1, rapid.Bool().Draw(t, "even"))
+		most := rapid.IntRange(1, 2000).Draw(t, "most")
+		tables, rights := TableParts(w, most), RightsParts(r, most)
+		g := Gathering{}
+		before := dealt(2, true)
+		g.Rights(&Told{Rights: &before, Deal: 1, Pieces: 1})
+		left := Told{Table: &route.Wire{Index: 8, Gone: []string{"of another"}}, Parts: 2, Rights: &account.Rights{Half: 6, Paths: before.Paths}, Deal: 2, Pieces: 2}
+		g.Table(&left)
+		g.Rights(&left)
+		for i := range tables {
+			told := Told{Table: &tables[i], Parts: len(tables)}
+			got, ok := g.Table(&told)
+			if ok != (i == len(tables)-1) || ok && !reflect.DeepEqual(got, w) {
+				t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(tables), ok, got, w)
+			}
+		}
+		if r.Even == nil {
+			r.Even = before.Even
+		}
+		for i := range rights {
+			told := Told{Rights: &rights[i], Deal: 3, Pieces: len(rights)}
+			got, ok := g.Rights(&told)
+			if ok != (i == len(rights)-1) || ok && !reflect.DeepEqual(got, r) {
+				t.Fatalf("piece %d of %d: %v, %+v, want %+v", i, len(rights), ok, got, r)
+			}
+		}
+		said := Said{}
+		if g.Say(&said); said.Even != 3 || said.Deal != 3 || said.Piece != len(rights) || said.Toward != 0 {
+			t.Fatalf("%+v", said)
+		}
+	})
+}
+
+// The first table and rights of as many routes as an account room keeps pass in answers that
+// the other end reads.
+func TestTheGreatestFits(t *testing.T) {
+	w, r := table(16_384, 0, 1000), dealt(24_576, true)
+	w.Set[7].Owner = strings.Repeat("o", 30_000)
+	tables, rights := TableParts(w, Part), RightsParts(r, Part)
+	for i := range tables {
+		raw, err := json.Marshal(Told{Table: &tables[i]})
+		if err != nil || len(raw) > Longest {
+			t.Errorf("%d bytes, %v", len(raw), err)
+		}
+	}
+	for i := range rights {
+		raw, err := json.Marshal(Told{Rights: &rights[i]})
+		if err != nil || len(raw) > Longest {
+			t.Errorf("%d bytes, %v", len(raw), err)
+		}
+	}
+	if len(tables) < 2 || len(rights) < 2 {
+		t.Errorf("%d and %d parts", len(tables), len(rights))
+	}
+}
--- a/internal/fleet/member/roster.go
+++ b/internal/fleet/member/roster.go
@@ -115,9 +115,9 @@
 		if raw := a.words[name].pack(); raw != nil {
 			reports = append(reports, raw)
 		}
-		if raw := a.raw[name]; raw != nil {
-			reports = append(reports, raw)
-		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.raw)) {
+		reports = append(reports, a.raw[name])
 	}
 	raw, err := json.Marshal(reports)
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/member/uses_test.go
@@ -0,0 +1,62 @@
+package member
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/share"
+)
+
+// What was used in an epoch's first half reaches others in the second, in one datagram: what
+// does not fit was used no more than it says. Nobody's false word is taken for another's.
+func TestUsesTravel(t *testing.T) {
+	for _, paths := range []int{0, 5, 500} {
+		var sent [][]byte
+		a, b := NewAgent("a", cfg, share.Guards{}, clock), NewAgent("b", cfg, share.Guards{}, clock)
+		a.spread = func(name string, raw []byte) {
+			if strings.HasPrefix(name, "used/") {
+				sent = append(sent, raw)
+			}
+		}
+		u := account.Use{Half: 11, Prior: map[string]account.Figures{}}
+		for i := range paths {
+			u.Prior[fmt.Sprint("acme/web:route-", i)] = account.Figures{Rate: float64(i + 1), Open: 7}
+		}
+		a.Used(account.Use{Half: 10, Prior: u.Prior})
+		a.Used(u)
+		a.Used(u)
+		if len(sent) != 1 || len(sent[0]) > largest {
+			t.Fatalf("%d paths: sent %d times", paths, len(sent))
+		}
+		b.Hear(sent[0])
+		if len(b.Uses()) != 0 {
+			t.Error("the word of nobody is taken")
+		}
+		b.Saw("a", share.Alive, nil)
+		b.hearAll(a.all()) // as who was cut off
+		b.Hear([]byte(`{"used":"a","half":9,"paths":{"acme":[1,0,0]}}`))
+		b.Hear([]byte(`{"used":"a","half":12,"paths":{"acme":[-1,0,0]}}`))
+		b.Hear([]byte(`{"used":"b","half":12,"paths":{}}`))
+		b.Hear([]byte(`{"used":7}`))
+		got := b.Uses()
+		if len(got) != 1 || got[0].Member != "a" || got[0].Half != 11 {
+			t.Fatalf("%d paths: %+v", paths, got)
+		}
+		for path, f := range u.Prior {
+			if has, ok := got[0].Prior[path]; ok && has.Rate != f.Rate || !ok && f.Rate > got[0].Rest.Rate {
+				t.Errorf("%d paths: %s: %+v, rest %+v", paths, path, has, got[0].Rest)
+			}
+		}
+		if (got[0].Rest.Rate > 0) != (paths == 500) {
+			t.Errorf("%d paths: rest %+v", paths, got[0].Rest)
+		}
+		b.Saw("a", share.Left, nil)
+		b.clock = func() time.Duration { return clock() + time.Hour }
+		if b.Holders(); len(b.Uses()) != 0 {
+			t.Error("a member that has left is remembered")
+		}
+	}
+}
