--- a/cmd/coralrig/main.go
+++ b/cmd/coralrig/main.go
@@ -18,6 +18,8 @@
 	"github.com/alecthomas/kong"
 
 	"coralrelay/internal/rig"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/rig/zones"
 )
 
 // The exit codes: a rule broke or a bound was missed; it could not run.
@@ -29,11 +31,14 @@
 type cli struct {
 	Node string `placeholder:"FILE" help:"The node's binary; by default the coralrelay beside this program."`
 
-	Demo   demoCmd   `cmd:"" help:"Start a roster, feed servers, a node and clients, show for 10 s what is placed where, and end."`
-	Resume resumeCmd `cmd:"" help:"Move clients with resume tokens over drains, restarts and kills."`
-	Bare   bareCmd   `cmd:"" hidden:"" help:"Forward datagrams by a bare loop, for comparison."`
-	Fleet  fleetCmd  `cmd:"" help:"Nodes that share limits and verdicts, while they are cut off, fall and are lied to."`
-	UDP    udpCmd    `cmd:"" name:"udp" help:"Send short flows of datagrams through a small table while servers drain and fall."`
+	Demo     demoCmd     `cmd:"" help:"Start a roster, feed servers, a node and clients, show for 10 s what is placed where, and end."`
+	Resume   resumeCmd   `cmd:"" help:"Move clients with resume tokens over drains, restarts and kills."`
+	Bare     bareCmd     `cmd:"" hidden:"" help:"Forward datagrams by a bare loop, for comparison."`
+	Accounts accountsCmd `cmd:"" help:"Teams that change routes, limits and grants at once through different agents, while leaders die, links break and a disk fills."`
+	Fleet    fleetCmd    `cmd:"" help:"Nodes that share limits and verdicts, while they are cut off, fall and are lied to."`
+	Zones    zonesCmd    `cmd:"" help:"Nodes, agents and feed servers in zones that fail, are left as one and returned to."`
+	Promises promisesCmd `cmd:"" help:"Contracts on response times, kept by steering tenants to regions that meet them."`
+	UDP      udpCmd      `cmd:"" name:"udp" help:"Send short flows of datagrams through a small table while servers drain and fall."`
 }
 
 // common is what all scenes have.
@@ -132,6 +137,31 @@
 	return r.Finish(os.Stdout, c.JSON)
 }
 
+type zonesCmd struct {
+	common
+	Nodes   int      `default:"7" help:"Nodes, each with its agent: 5 to 15."`
+	Voters  int      `default:"3" help:"Agents that decide what the record takes: 3 or 5."`
+	Zones   int      `default:"3" help:"Zones: 3 to 6."`
+	Servers int      `default:"9" help:"Feed servers."`
+	Rate    float64  `default:"120" help:"Transactions a second in usual times."`
+	Steps   []string `help:"Play these alone, after members have met: cold, silent, link, half, one, self, disk, leader, lone, two, flap."`
+}
+
+func (c *zonesCmd) Run(ctx context.Context, top *cli) error {
+	if c.ListSabotage {
+		return list(zones.Sabotages)
+	}
+	if c.Nodes < 5 || c.Nodes > 15 || c.Voters != 3 && c.Voters != 5 || c.Zones < 3 || c.Zones > 6 || c.Servers < 2*c.Zones || c.Servers > 40 || !(c.Rate >= 60 && c.Rate <= 1000) {
+		return errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 6 zones, two servers or more in each, 40 at most, and a rate of 60 to 1000 are wanted")
+	}
+	r, err := zones.Play(ctx, zones.Options{Seed: c.Seed, Nodes: c.Nodes, Voters: c.Voters, Zones: c.Zones, Servers: c.Servers, Rate: c.Rate,
+		Steps: c.Steps, Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
+	if err != nil {
+		return err
+	}
+	return r.Finish(os.Stdout, c.JSON)
+}
+
 type bareCmd struct {
 	Listen string `arg:""`
 	To     string `arg:""`
@@ -166,7 +196,7 @@
 		}
 	}
 	switch err := k.Run(&c); {
-	case errors.Is(err, rig.ErrBroken):
+	case errors.Is(err, world.ErrBroken):
 		stop()
 		os.Exit(broken)
 	case err != nil:
--- a/internal/fleet/record/follow.go
+++ b/internal/fleet/record/follow.go
@@ -94,7 +94,14 @@
 	}
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	defer func() { _ = c.Close() }()
+	return r.listen(ctx, c, p, suits)
+}
+
+// listen is attach once the member is called. It alone reads from c and writes to it.
+func (r *Record) listen(ctx context.Context, c *conn, p Peer, suits bool) (fed bool, others []Peer, err error) {
 	s := r.hub.view.Load().State
+	var numbers sentNumbers
+	numbers.next()
 	_ = c.SetWriteDeadline(time.Now().Add(r.o.silence()))
 	if err := sayJSON(c, msgHello, hello{Name: r.me.Name, Addr: r.me.Addr, Index: s.Index, Hash: s.Hash}); err != nil {
 		return false, nil, err
@@ -125,16 +132,22 @@
 			if len(b.Path) > mostPath || slices.Contains(b.Path, r.me.Name) {
 				return fed, nil, errors.New("its word comes by way of this member, or by too many")
 			}
-			now := time.Now()
-			age := time.Duration(b.Age) * time.Microsecond
-			if b.Age < 0 || age >= r.o.Lease {
-				if now.Sub(fine) > r.o.silence() {
-					return false, nil, errors.New("its word is old")
+			at, err := numbers.word(&b, settle*r.o.Lease)
+			if err != nil {
+				return fed, nil, err
+			}
+			if now := time.Now(); now.Sub(at) < r.o.Lease {
+				fed, fine = true, now
+				r.hub.heard(at, b.Leader, b.Path)
+			} else if now.Sub(fine) > r.o.silence() {
+				return false, nil, errors.New("its word is old")
+			}
+			if b.Number == numbers.last {
+				_ = c.SetWriteDeadline(time.Now().Add(r.o.silence()))
+				if err := say(c, msgNumber, binary.BigEndian.AppendUint64(nil, numbers.next())); err != nil {
+					return fed, nil, err
 				}
-				continue
 			}
-			fed, fine = true, now
-			r.hub.heard(now.Add(-age), b.Leader, b.Path)
 		case msgEntry:
 			err = r.takeEntry(text)
 		case msgState:
--- a/internal/fleet/record/message.go
+++ b/internal/fleet/record/message.go
@@ -25,6 +25,7 @@
 	msgEntry   = 'e' // eight bytes of index, the chain's hash after it, the entry
 	msgState   = 's' // a whole state: its sum, and JSON
 	msgBeat    = 'b' // JSON: beat
+	msgNumber  = 'c' // eight bytes, from the follower
 	msgPropose = 'p' // an entry
 	msgAnswer  = 'a' // JSON: answer
 	msgAsk     = 'q' // JSON: ask
@@ -54,7 +55,8 @@
 
 // beat says how old the word is that all up to here rests on.
 type beat struct {
-	Age    int64    `json:"a"`           // microseconds; negative if nothing was ever heard
+	Number uint64   `json:"n,omitempty"` // the follower's last that was read; 0 if nothing was ever heard
+	Age    int64    `json:"a"`           // microseconds, when that number was read; negative for a word that came later
 	Leader string   `json:"l,omitempty"` // as the server knows it
 	Path   []string `json:"p"`           // of the word: from the leader to the server
 }
--- /dev/null
+++ b/internal/fleet/record/number_test.go
@@ -0,0 +1,132 @@
+package record
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+)
+
+// heldConn keeps what is read or written back until a time that is set.
+type heldConn struct {
+	net.Conn
+	in, out time.Time
+}
+
+func (h *heldConn) Read(p []byte) (int, error) {
+	n, err := h.Conn.Read(p)
+	time.Sleep(time.Until(h.in))
+	return n, err
+}
+
+func (h *heldConn) Write(p []byte) (int, error) {
+	time.Sleep(time.Until(h.out))
+	return h.Conn.Write(p)
+}
+
+// bare is a member without a disk and a port.
+func bare(t *testing.T, name string) *Record {
+	first, err := entry.New(entry.Genesis{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Record{o: Options{Name: name, Lease: defaultLease}, me: Peer{Name: name}, hub: newHub(first), children: map[string]*conn{}}
+}
+
+// A word that waits on its way, or whose number does, is taken for no younger than it is.
+func TestHeldBeat(t *testing.T) {
+	const held = time.Second - time.Millisecond
+	for name, hold := range map[string]func(*heldConn, time.Time){
+		"none":   func(*heldConn, time.Time) {},
+		"beat":   func(h *heldConn, until time.Time) { h.in = until },
+		"number": func(h *heldConn, until time.Time) { h.out = until },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var wire *heldConn
+				up, down := bare(t, "up"), bare(t, "down")
+				down.first = up.first
+				caller, called := pair(t, "0123456789abcdef", "0123456789abcdef", func(c net.Conn) net.Conn {
+					wire = &heldConn{Conn: c}
+					return wire
+				})
+				_, _ = caller.SetDeadline(time.Time{}), called.SetDeadline(time.Time{})
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				up.hub.heard(time.Now(), "up", nil)
+				go up.feed(ctx, called)
+				go func() {
+					_, _, err := down.listen(ctx, caller, Peer{Name: "up"}, true)
+					ended <- err
+				}()
+				defer func() {
+					cancel()
+					_, _ = called.Close(), caller.Close()
+					if err := <-ended; err == nil {
+						t.Error("no error at the end")
+					}
+				}()
+				heard := func() time.Time { return down.hub.view.Load().Heard }
+				for range 4 {
+					synctest.Wait()
+					if got, want := heard(), up.hub.view.Load().Heard; !got.Equal(want) {
+						t.Fatalf("nothing is held: a word of %v is taken for one of %v", want, got)
+					}
+					time.Sleep(up.o.pulse())
+					up.hub.heard(time.Now(), "up", nil)
+				}
+				time.Sleep(up.o.pulse())
+				synctest.Wait()
+				hold(wire, time.Now().Add(held))
+				last := time.Now()
+				up.hub.heard(last, "up", nil) // nobody is heard after this
+				for range 8 {
+					time.Sleep(up.o.pulse())
+					synctest.Wait()
+					if got := heard(); got.After(last) {
+						t.Fatalf("taken for younger by %v", got.Sub(last))
+					}
+				}
+				if got := heard(); !got.Equal(last) || down.View().Fresh {
+					t.Errorf("a lease later: a word of %v ago, fresh %v", time.Since(got), down.View().Fresh)
+				}
+			})
+		})
+	}
+}
+
+// Who sends numbers faster than beats name them is cut off, and a beat names no other than
+// the last two.
+func TestNumbers(t *testing.T) {
+	a, b := pair(t, "0123456789abcdef", "0123456789abcdef", same)
+	defer func() { _, _ = a.Close(), b.Close() }()
+	go func() {
+		for n := range uint64(2) {
+			_ = say(a, msgNumber, binary.BigEndian.AppendUint64(nil, n+2))
+		}
+	}()
+	read := readNumbers{last: 1, told: true}
+	if err := read.read(b); err != nil {
+		t.Fatal(err)
+	}
+	if err := read.read(b); !errors.Is(err, errNumber) {
+		t.Errorf("one that was not awaited: %v", err)
+	}
+	sent := sentNumbers{last: 7, at: time.Now(), prior: time.Now().Add(-time.Minute)}
+	for number, fine := range map[uint64]bool{5: false, 7: true, 8: false} {
+		if _, err := sent.word(&beat{Number: number}, time.Second); errors.Is(err, errNumber) == fine {
+			t.Errorf("number %d: %v", number, err)
+		}
+	}
+	if _, err := sent.word(&beat{Number: 6}, time.Second); err == nil {
+		t.Error("a number of a minute ago is good still")
+	}
+	if at, err := sent.word(&beat{Number: 7, Age: -1 << 40}, time.Second); err != nil || at.After(time.Now()) {
+		t.Errorf("a word of the future: %v, %v", at, err)
+	}
+}
--- a/internal/fleet/record/propose.go
+++ b/internal/fleet/record/propose.go
@@ -129,11 +129,12 @@
 	}
 }
 
-// commit takes an entry through raft. What would not be taken is refused at once, if this
-// member is known to lead still: otherwise its state may be old.
+// commit takes an entry through raft. What would not be taken is refused at once, by a state
+// that a barrier has brought up to date: VerifyLeader is not enough, as an answer to a
+// heartbeat from before this process was stopped for a while can confirm it.
 func (r *Record) commit(ra *raft.Raft, raw []byte) answer {
-	if r.Leads() {
-		if err := r.hub.view.Load().State.Check(raw); err != nil && ra.VerifyLeader().Error() == nil {
+	if r.Leads() && r.hub.view.Load().State.Check(raw) != nil && ra.Barrier(mostWait).Error() == nil {
+		if err := r.hub.view.Load().State.Check(raw); err != nil {
 			return answer{Outcome: entry.Outcome{Reason: err.Error()}}
 		}
 	}
--- a/internal/fleet/record/serve.go
+++ b/internal/fleet/record/serve.go
@@ -22,6 +22,19 @@
 		return
 	}
 	defer r.dismiss(&h, c)
+	numbers := &readNumbers{last: 1, at: time.Now()}
+	_ = c.SetReadDeadline(time.Time{})
+	gone := make(chan struct{})
+	defer func() { _ = c.Close(); <-gone }()
+	go func() { // reads numbers until the connection is closed, by either side
+		defer close(gone)
+		for {
+			if err := numbers.read(c); err != nil {
+				slog.Debug("record: a follower is gone", "follower", h.Name, "err", err)
+				return
+			}
+		}
+	}()
 	at, told := h.Index, time.Time{}
 	idle := time.NewTimer(0)
 	defer idle.Stop()
@@ -35,7 +48,7 @@
 		}
 		at = n
 		if due || v.Heard.After(told) {
-			if err := sayJSON(c, msgBeat, r.beat(v)); err != nil {
+			if err := sayJSON(c, msgBeat, r.beat(v, numbers)); err != nil {
 				return
 			}
 			told = v.Heard
@@ -46,6 +59,8 @@
 		case <-moved:
 		case <-idle.C:
 			due = true
+		case <-gone:
+			return
 		case <-ctx.Done():
 			return
 		}
@@ -72,11 +87,12 @@
 	return at, nil
 }
 
-// beat is this member's word as of now.
-func (r *Record) beat(v View) beat {
-	b := beat{Age: -1, Leader: v.Leader, Path: append(append([]string{}, v.Path...), r.me.Name)}
+// beat is this member's word, its age told as of the last number.
+func (r *Record) beat(v View, n *readNumbers) beat {
+	b := beat{Leader: v.Leader, Path: append(append([]string{}, v.Path...), r.me.Name)}
 	if !v.Heard.IsZero() {
-		b.Age = time.Since(v.Heard).Microseconds()
+		number, at := n.tell()
+		b.Number, b.Age = number, at.Sub(v.Heard).Microseconds()
 	}
 	return b
 }
--- /dev/null
+++ b/internal/rig/accounts/accounts.go
@@ -0,0 +1,177 @@
+// Package accounts is the scene of accounts and teams that many write at once: real agents
+// that keep the record, and faults among them. What was answered is held against the same
+// pure code that the record applies, from outside and with all of its guards in.
+package accounts
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"io"
+	mrand "math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"coralrelay/internal/operator"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// Options size the scene.
+type Options struct {
+	Seed                        uint64
+	Nodes, Voters, Zones, Teams int
+	Steps                       []string // of the script, empty for all; members meet and accounts are founded in any case
+	Binary, Sabotage            string   // the agent's binary is beside the node's
+	Progress                    io.Writer
+}
+
+// Sabotages are the guards that the scene can switch off, all in the agent.
+var Sabotages = map[string]string{
+	"commit":  "a proposal is applied before it is committed",
+	"parent":  "a child may hold more than its parent",
+	"subtree": "a grant reaches every path",
+	"revoke":  "what was handed on stays good when the grant it came from is revoked",
+	"half":    "what comes before the failing part of a change stays",
+	"stale":   "a member that hears nobody says that its word is fresh",
+}
+
+const (
+	lease    = 2 * time.Second
+	skew     = 200 * time.Millisecond // by which members' clocks differ
+	pause    = 200 * time.Millisecond // of a writer between two moves, in the mean
+	rate     = 60                     // transactions a second beside it all
+	servers  = 6
+	looks    = 20 * time.Millisecond // how often each agent is asked what it knows
+	learning = 14 * time.Second      // until nodes know the usual rate: before, they refuse some
+	judging  = 10 * time.Second      // the greatest time that histories are searched for
+	lostMost = 3 * time.Second       // from the loss of a leader to the next change taken: three beats, and proposals' own waits
+	oneMost  = 5 * time.Second       // until all members are as one again, once healed
+	backMost = 15 * time.Second      // until a voter has its vote again
+)
+
+// scene is one run.
+type scene struct {
+	*world.World
+	tree  *tree
+	watch *watchers
+	log   *history
+	room  map[string]chan struct{} // asks under way at each agent
+
+	writers sync.WaitGroup
+	stop    context.CancelFunc // of the writers
+
+	mu     sync.Mutex
+	faults map[string][]span // of each agent
+	lost   []time.Time       // when leaders were lost
+}
+
+// span is how long a fault lasted; until is zero while it does.
+type span struct{ from, until time.Time }
+
+// Play plays the scene: teams change routes, limits and grants at once through different
+// agents, while leaders die, links break, a disk fills up and agents stall.
+func Play(ctx context.Context, o Options) (*world.Result, error) {
+	if _, ok := Sabotages[o.Sabotage]; o.Sabotage != "" && !ok {
+		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+	}
+	t, err := newTree(o.Teams)
+	if err != nil {
+		return nil, err
+	}
+	w := world.Options{Scene: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
+		Sabotage: o.Sabotage, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
+	for i := range o.Zones {
+		w.Zones = append(w.Zones, string(rune('a'+i)))
+	}
+	w.Own = func(_ string, f *operator.File) {
+		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(t.root.public())
+		f.Fleet.Record.Lease = operator.Duration{Duration: lease}
+	}
+	w.Clock = func(name string) time.Duration {
+		if name[len(name)-1]%2 == 0 {
+			return skew
+		}
+		return 0
+	}
+	if o.Sabotage != "" {
+		dir, err := os.MkdirTemp("", "coralrig-")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		if w.Agent, err = world.Sabotaged(ctx, dir, "coralfleet"); err != nil {
+			return nil, err
+		}
+	}
+	built, err := world.New(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	defer built.End()
+	s := &scene{World: built, tree: t, log: &history{}, room: map[string]chan struct{}{}, stop: func() {}, faults: map[string][]span{}}
+	for _, name := range s.Names {
+		s.room[name] = make(chan struct{}, 3)
+	}
+	s.watch = newWatchers(s.Agents)
+	defer s.watch.end()
+	s.Scaled = fmt.Sprintf("%d agents in %d zones, all on one machine; %d teams on two levels below %d accounts; a lease of %v; each agent is looked at every %v",
+		o.Nodes, o.Zones, o.Teams, len(t.admins), lease, looks)
+	return s.Result, s.run(ctx, o.Steps)
+}
+
+// run plays the script, lets all members agree, and judges.
+func (s *scene) run(ctx context.Context, chosen []string) error {
+	defer s.writers.Wait()
+	defer func() { s.stop() }()
+	err := s.Play(ctx, []world.Step{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
+		{Name: "oneway", Do: s.oneWay}, {Name: "apart", Do: s.apart}, {Name: "disk", Do: s.disk}, {Name: "stall", Do: s.stall},
+		{Name: "many", Do: s.many}}, chosen)
+	if err != nil {
+		return err
+	}
+	s.stop()
+	s.writers.Wait()
+	s.agree(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	s.judge(len(chosen) == 0)
+	return nil
+}
+
+// meet lets members find each other and agree on a leader, founds the accounts, and has
+// writers begin.
+func (s *scene) meet(ctx context.Context, _ *mrand.Rand) error {
+	if _, met := world.Await(ctx, 15*time.Second, func() bool { return s.watch.asOne(s.Names) }); !met && ctx.Err() == nil {
+		return fmt.Errorf("members did not meet: %s", s.watch.say())
+	}
+	if err := s.found(ctx); err != nil {
+		return err
+	}
+	writing, stop := context.WithCancel(ctx)
+	s.stop = stop
+	for i, w := range s.tree.writers() {
+		w.scene, w.rng = s, mrand.New(mrand.NewPCG(s.Options.Seed, uint64(100+i)))
+		s.writers.Go(func() { w.write(writing) })
+	}
+	return nil
+}
+
+func (s *scene) calm(ctx context.Context, _ *mrand.Rand) error {
+	standin.Sleep(ctx, 2*time.Second)
+	return nil
+}
+
+// agree heals all and waits until all members hold the same.
+func (s *scene) agree(ctx context.Context) {
+	s.Relay.Heal()
+	took, came := world.Await(ctx, oneMost, func() bool { return s.watch.asOne(s.Names) })
+	s.Set("as_one_again_ms", float64(took.Milliseconds()))
+	if !came && ctx.Err() == nil {
+		s.Broken("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", oneMost, s.watch.say()))
+	}
+	// Trees are asked for after states: the last ones have to come, too.
+	world.Await(ctx, time.Second, func() bool { return s.watch.read(s.Names) })
+}
--- /dev/null
+++ b/internal/rig/accounts/propose.go
@@ -0,0 +1,102 @@
+package accounts
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+)
+
+// What is known of a proposal's end.
+const (
+	unknown = iota // it may have been taken, or may yet be
+	decided        // out tells
+	absent         // it is no part of the log
+)
+
+// op is a proposal as its author saw it.
+type op struct {
+	entry     entry.Entry
+	raw       []byte // the entry as its agent hands it on
+	what      string
+	never     string // the rule that is broken if it is taken; empty where it may be
+	to        string
+	call, ret time.Time
+	end       int
+	out       entry.Outcome
+	why       string // it is not decided
+}
+
+func (o *op) taken() bool { return o.end == decided && o.out.Taken }
+
+// history is all proposals.
+type history struct {
+	mu    sync.Mutex
+	ops   []*op
+	lines []line
+	races [][2]*op
+}
+
+// line is a line of grants that was revoked at an index: nothing by its keys is taken later.
+type line struct {
+	keys    []string
+	revoked uint64
+}
+
+func (h *history) add(o *op) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, o)
+}
+
+// propose signs a change and brings it to an agent.
+func (s *scene) propose(k key, to string, c account.Change, what, never string) *op {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return &op{end: absent, why: err.Error()}
+	}
+	e := entry.Entry{Kind: entry.Accounts, At: time.Now().UnixMilli(), Why: what, Key: k.name(), Body: body}
+	e.Sig = ed25519.Sign(ed25519.PrivateKey(k), e.Signed())
+	return s.bring(e, to, what, never)
+}
+
+// bring proposes an entry that is signed.
+func (s *scene) bring(e entry.Entry, to, what, never string) *op {
+	e.By = to
+	raw, err := json.Marshal(&e)
+	if err != nil {
+		return &op{end: absent, why: err.Error()}
+	}
+	o := &op{entry: e, raw: raw, what: what, never: never, to: to}
+	s.room[to] <- struct{}{} // as many as the agent has room for, beside the watchers
+	o.call = time.Now()
+	var answer struct {
+		Outcome entry.Outcome `json:"outcome"`
+	}
+	err = s.Agents[to].Ask(link.Ask{Ask: "propose", Entry: raw}, &answer)
+	o.ret = time.Now()
+	<-s.room[to]
+	var no *link.Refusal
+	var dial *net.OpError
+	switch {
+	case err == nil:
+		o.end, o.out = decided, answer.Outcome
+	case errors.As(err, &no) && !no.Unknown, errors.As(err, &dial) && dial.Op == "dial":
+		o.end, o.why = absent, err.Error()
+	default:
+		o.why = err.Error()
+	}
+	s.log.add(o)
+	return o
+}
+
+func (o *op) String() string {
+	return fmt.Sprintf("%s by way of %s, %v: %+v %s", o.what, o.to, o.ret.Sub(o.call).Round(time.Millisecond), o.out, o.why)
+}
--- /dev/null
+++ b/internal/rig/accounts/tree.go
@@ -0,0 +1,137 @@
+package accounts
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/standin"
+)
+
+// key signs changes.
+type key ed25519.PrivateKey
+
+func newKey() (key, error) {
+	_, private, err := ed25519.GenerateKey(nil)
+	return key(private), err
+}
+
+func (k key) public() []byte { return ed25519.PrivateKey(k).Public().(ed25519.PublicKey) }
+
+func (k key) name() string { return account.KeyName(k.public()) }
+
+// team is a team, or an account as its administrator sees it.
+type team struct {
+	key
+	path  string
+	above *team   // nil for an account
+	below []*team // in the tree's order
+}
+
+// tree is what is founded: accounts, teams, and teams of teams.
+type tree struct {
+	root   key
+	admins []*team // of the accounts
+	teams  []*team
+}
+
+const (
+	teamsOfAccount = 6
+	teamsOfTeam    = 2 // of the teams on the first level, one after another
+)
+
+// newTree names accounts and teams and makes their keys.
+func newTree(teams int) (*tree, error) {
+	var errs []error
+	fresh := func() key {
+		k, err := newKey()
+		errs = append(errs, err)
+		return k
+	}
+	t := &tree{root: fresh()}
+	for i := range teams {
+		if i%teamsOfAccount == 0 {
+			t.admins = append(t.admins, &team{key: fresh(), path: fmt.Sprintf("acc%d", len(t.admins))})
+		}
+		above := t.admins[len(t.admins)-1]
+		if n := len(above.below); n > 0 && len(above.below[n-1].below) < teamsOfTeam {
+			above = above.below[n-1]
+		}
+		one := &team{key: fresh(), path: fmt.Sprintf("%s/t%d", above.path, i), above: above}
+		above.below = append(above.below, one)
+		t.teams = append(t.teams, one)
+	}
+	return t, errors.Join(errs...)
+}
+
+// level is 0 for an account.
+func (t *team) level() int {
+	if t.above == nil {
+		return 0
+	}
+	return t.above.level() + 1
+}
+
+// node is what a team has at first: its children together hold a little less than it has.
+func (t *team) node() *account.Node {
+	l := [3]account.Limits{
+		{Open: 3000, Rate: 300, Retries: 60, Probes: 60, Routes: 200, Teams: 60},
+		{Open: 1000, Rate: 100, Retries: 20, Probes: 20, Routes: 60, Teams: 10},
+		{Open: 300, Rate: 30, Retries: 6, Probes: 6, Routes: 20, Teams: 2},
+	}[t.level()]
+	return &account.Node{Limits: l, Priority: len(t.path) % 3}
+}
+
+// grant is what is given to a team's key, by the key above: each level can hand on less deep.
+func (t *team) grant() account.Op {
+	return give(t.key, t.path, 4-t.level(), account.ActRoutes, account.ActLimits, account.ActTeams, account.ActGrants)
+}
+
+func give(k key, path string, depth int, acts ...string) account.Op {
+	return account.Op{Do: account.Give, Path: path, Grant: &account.Grant{Key: k.name(), Public: k.public(), Path: path, Acts: acts, Depth: depth}}
+}
+
+// found brings the tree into the record, each level by the key above it.
+func (s *scene) found(ctx context.Context) error {
+	for _, a := range s.tree.admins {
+		if err := s.must(ctx, s.tree.root, account.Op{Do: account.Found, Path: a.path, Node: a.node()}, a.grant()); err != nil {
+			return err
+		}
+	}
+	for _, t := range s.tree.teams {
+		if err := s.must(ctx, t.above.key, account.Op{Do: account.Team, Path: t.path, Node: t.node()}, t.grant()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// must proposes until a change is taken.
+func (s *scene) must(ctx context.Context, k key, ops ...account.Op) error {
+	var o *op
+	for begun := time.Now(); time.Since(begun) < 10*time.Second; {
+		to := s.Names[len(ops)%len(s.Names)]
+		base, _ := s.watch.tree(to)
+		if o = s.propose(k, to, account.Change{Base: base.Version, Ops: ops}, "found", ""); o.taken() {
+			s.watch.await(ctx, to, o.out.Index)
+			return nil
+		}
+		if !standin.Sleep(ctx, looks) {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("%q was not founded: %+v %s", ops[0].Path, o.out, o.why)
+}
+
+// writers is one for each team and for each account's administrator.
+func (t *tree) writers() (all []*writer) {
+	for _, list := range [2][]*team{t.admins, t.teams} {
+		for _, one := range list {
+			all = append(all, &writer{team: one})
+		}
+	}
+	return all
+}
--- a/internal/rig/demo.go
+++ b/internal/rig/demo.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/rig/world"
 	"coralrelay/internal/standin"
 )
 
@@ -21,7 +22,7 @@
 }
 
 // quiet hears what stand-ins tell, and counts it.
-type quiet struct{ *Result }
+type quiet struct{ *world.Result }
 
 func (q quiet) Opened(standin.Opened)   {}
 func (q quiet) Started(standin.Started) {}
@@ -39,7 +40,7 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	seen := quiet{NewResult("demo", 1)}
+	seen := quiet{world.NewResult("demo", 1)}
 	feed, roster := standin.NewFeed(10, 10, 1), standin.NewRoster()
 	defer roster.Close()
 	discovery, err := roster.Listen("n0")
@@ -58,21 +59,21 @@
 		list = append(list, v)
 		roster.Set(v.Name, standin.Active, time.Time{}, addrs)
 	}
-	n, err := NewNode(NodeOptions{Binary: o.Binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery, Nodes: 1})
+	n, err := world.NewNode(world.NodeOptions{Binary: o.Binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery, Nodes: 1})
 	if err != nil {
 		return err
 	}
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	nodes := Nodes{n}
+	nodes := world.Nodes{n}
 	defer nodes.End()
 	running, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	for i := range clients {
-		c := &standin.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: patience,
+		c := &standin.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: world.Patience,
 			Front: nodes, Diary: seen, Plain: true}
 		c.Seed(1, uint64(i))
 		wg.Go(func() {
--- /dev/null
+++ b/internal/rig/fault/party.go
@@ -0,0 +1,149 @@
+package fault
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+)
+
+// streams bounds the connections of one listener at once.
+const streams = 512
+
+// party is who speaks or is spoken to.
+type party struct {
+	name, zone string
+	said       uint64 // bytes
+	lost       uint64 // datagrams of its that the relay dropped
+	doors      []*door
+}
+
+// door is one of the relay's addresses for a party.
+type door struct {
+	p       *party
+	speaker string // who alone comes here; empty for whoever his address tells
+	to      string // where the party listens
+	at      string // where the relay does
+	room    chan struct{}
+	udp     *net.UDPConn // nil where the party has streams only
+	tcp     net.Listener // nil while the party is down
+}
+
+// party returns who has a name; the lock is held.
+func (r *Relay) party(name string) *party {
+	p := r.parties[name]
+	if p == nil {
+		p = &party{name: name}
+		r.parties[name] = p
+	}
+	return p
+}
+
+// Place says in which zone a party is.
+func (r *Relay) Place(name, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.party(name).zone = zone
+}
+
+// Add takes a party that listens at an address, TCP and UDP, and speaks from its IP. It
+// returns the address at which the others reach it: at is an IP, the port is the system's
+// choice. A party may listen at several addresses of one IP.
+func (r *Relay) Add(name, listens, at string) (string, error) {
+	to, err := netip.ParseAddrPort(listens)
+	if err != nil {
+		return "", fmt.Errorf("party %s: %w", name, err)
+	}
+	d, err := r.open(name, "", listens, at)
+	if err != nil {
+		return "", err
+	}
+	addr := d.tcp.Addr().(*net.TCPAddr)
+	if d.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: addr.IP, Port: addr.Port}); err != nil {
+		_ = d.tcp.Close()
+		return "", fmt.Errorf("party %s: %w", name, err)
+	}
+	r.mu.Lock()
+	r.byIP[to.Addr()] = name
+	r.mu.Unlock()
+	context.AfterFunc(r.ctx, func() { _ = d.udp.Close() })
+	r.wg.Go(func() { r.datagrams(d, net.UDPAddrFromAddrPort(to)) })
+	r.admit(d)
+	return d.at, nil
+}
+
+// AddFor takes a party that listens for streams, and returns the address at which one
+// speaker reaches it: who comes there is he, wherever he speaks from.
+func (r *Relay) AddFor(speaker, name, listens, at string) (string, error) {
+	d, err := r.open(name, speaker, listens, at)
+	if err != nil {
+		return "", err
+	}
+	r.admit(d)
+	return d.at, nil
+}
+
+// open makes a door whose streams nobody takes yet.
+func (r *Relay) open(name, speaker, listens, at string) (*door, error) {
+	tcp, err := net.Listen("tcp", net.JoinHostPort(at, "0"))
+	if err != nil {
+		return nil, fmt.Errorf("party %s: %w", name, err)
+	}
+	d := &door{speaker: speaker, to: listens, at: tcp.Addr().String(), room: make(chan struct{}, streams), tcp: tcp}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d.p = r.party(name)
+	if speaker != "" {
+		r.party(speaker)
+	}
+	d.p.doors = append(d.p.doors, d)
+	return d, nil
+}
+
+// admit takes a door's streams until its listener is closed.
+func (r *Relay) admit(d *door) {
+	l := d.tcp
+	context.AfterFunc(r.ctx, func() { _ = l.Close() })
+	r.wg.Go(func() { r.accept(d, l) })
+}
+
+// Down says that a party's process is gone or back: while it is gone, connections to it are
+// refused, as its machine would refuse them, and not taken and then ended.
+func (r *Relay) Down(name string, gone bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.party(name)
+	for _, d := range p.doors {
+		switch {
+		case gone && d.tcp != nil:
+			_ = d.tcp.Close()
+			d.tcp = nil
+		case !gone && d.tcp == nil:
+			l, err := net.Listen("tcp", d.at)
+			if err != nil {
+				return fmt.Errorf("party %s: %w", name, err)
+			}
+			d.tcp = l
+			r.admit(d)
+		}
+	}
+	return nil
+}
+
+// Said is how many bytes a party has sent, and how many of its datagrams were dropped.
+func (r *Relay) Said(name string) (bytes, lost uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.parties[name]; p != nil {
+		return p.said, p.lost
+	}
+	return 0, 0
+}
+
+// speaker names who speaks from an address.
+func (r *Relay) speaker(a netip.Addr) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name, ok := r.byIP[a.Unmap()]
+	return name, ok
+}
--- /dev/null
+++ b/internal/rig/fleet_lies.go
@@ -0,0 +1,73 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	mrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/fleet/member"
+	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/standin"
+)
+
+// lies has one member with the key accuse sound servers, and strangers without it.
+func (s *fleetScene) lies(ctx context.Context, _ *mrand.Rand) error {
+	if s.FleetOptions.Alone {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	accused := []string{"s0", "s1", "s2"}
+	speak := func(name string, number int, open bool) error {
+		bind, advertise, err := s.Party(name, number)
+		if err != nil {
+			return err
+		}
+		a := member.NewAgent(name, share.Config{Epoch: fleetWindow, Hold: fleetHold, Fresh: 3 * time.Second, Shun: 0.25}, share.Guards{},
+			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
+		wg.Go(func() {
+			// What comes of it is seen at the servers, not here.
+			_ = a.Run(ctx, member.Gossip{Bind: bind, Advertise: advertise, Peers: s.Peers(), Key: s.Key, Open: open,
+				Interval: 100 * time.Millisecond, Log: io.Discard})
+		})
+		wg.Go(func() {
+			for standin.Sleep(ctx, 100*time.Millisecond) {
+				var sp balance.Spending
+				for _, id := range accused {
+					sp.Servers = append(sp.Servers, balance.Spent{ID: id, Asked: 50, Failed: 50})
+				}
+				a.Answer(sp)
+			}
+		})
+		return nil
+	}
+	if err := speak("liar", 200, false); err != nil {
+		return err
+	}
+	// As many as make a verdict anywhere, were they heard.
+	for i := range len(s.Names) + 2 {
+		if err := speak(fmt.Sprint("stranger", i), 201+i, true); err != nil {
+			return err
+		}
+	}
+	standin.Sleep(ctx, 4*time.Second)
+	from := time.Now()
+	standin.Sleep(ctx, 4*time.Second)
+	share := s.Shares(from, time.Now())
+	least := math.Inf(1)
+	for _, id := range accused {
+		least = min(least, share[id])
+	}
+	s.Set("accused_least_share", least)
+	if least < 0.5 {
+		s.Broken("lies", fmt.Sprintf("a sound server that false members accuse gets %.2f of its share", least))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/promises.go
@@ -0,0 +1,218 @@
+package rig
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"coralrelay/internal/operator"
+	"coralrelay/internal/rig/fault"
+	"coralrelay/internal/rig/world"
+)
+
+// PromisesOptions size the scene of contracts on response times.
+type PromisesOptions struct {
+	Seed                          uint64
+	Nodes, Voters, Zones, Servers int
+	Rate                          float64  // transactions a second of all contracts
+	Steps                         []string // of the script, empty for all; members meet in any case
+	Alone                         bool     // without the same play unsteered and greedy beside it
+	Binary, Sabotage              string   // the agent's binary is beside the node's
+	Progress                      io.Writer
+}
+
+// PromisesSabotages are the guards that the scene can switch off, all in the agent.
+var PromisesSabotages = map[string]string{
+	"greedy":         "all there is goes to the best region at once",
+	"confidence":     "a few samples are a verdict",
+	"hysteresis":     "no patience, no margin, and no budget asked",
+	"explore":        "exploring has no bound",
+	"limits":         "promises go before what a region bears",
+	"stale-evidence": "what was measured counts for ever",
+}
+
+// The scene's times. Promises' own time passes ten times faster: a period is 3 s, a minute 6 s.
+const (
+	pace           = 10
+	promisesRamp   = 2 * time.Second
+	promisesWindow = 1500 * time.Millisecond
+)
+
+// promisesScene is one run.
+type promisesScene struct {
+	PromisesOptions
+	*world.World
+	name   string // of the run, empty for the one that is checked
+	root   ed25519.PrivateKey
+	quick  string // the zone that is slow first,
+	second string // then,
+	small  string // and the one with one server
+	slowed map[string]time.Duration
+	full   map[string]float64 // zones' loads
+
+	mu     sync.Mutex
+	said   []reply
+	shares []steered
+	parts  map[string][2]time.Time // steps' times
+	unkept map[string]string
+}
+
+// Promises plays the scene: regions become slow, are small, are left and return, while
+// contracts that can and cannot be kept are steered by the record.
+func Promises(ctx context.Context, o PromisesOptions) (*world.Result, error) {
+	dir, err := os.MkdirTemp("", "coralrig-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	sabotaged := ""
+	if o.Sabotage != "" || !o.Alone {
+		if sabotaged, err = world.Sabotaged(ctx, dir, "coralfleet"); err != nil {
+			return nil, err
+		}
+	}
+	type run struct {
+		name, agent, sabotage string
+		steered               bool
+	}
+	runs := []run{{"", "", "", true}}
+	if o.Sabotage != "" {
+		runs = []run{{"", sabotaged, o.Sabotage, true}}
+	} else if !o.Alone {
+		runs = append(runs, run{"unsteered", "", "", false}, run{"greedy", sabotaged, "greedy", true})
+	}
+	scenes, errs := make([]*promisesScene, len(runs)), make([]error, len(runs))
+	var all sync.WaitGroup
+	for i, r := range runs {
+		all.Go(func() { scenes[i], errs[i] = playPromises(ctx, o, r.name, r.agent, r.sabotage, r.steered) })
+	}
+	all.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", strings.TrimSpace("promises "+runs[i].name), err)
+		}
+	}
+	first := scenes[0]
+	for _, s := range scenes[1:] {
+		s.beside(first)
+	}
+	first.Scaled = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, pace)
+	return first.Result, nil
+}
+
+// playPromises is one run.
+func playPromises(ctx context.Context, o PromisesOptions, name, agent, sabotage string, steered bool) (*promisesScene, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	w := world.Options{Scene: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
+		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Sabotage: sabotage,
+		Ramp: promisesRamp, Window: promisesWindow, Hold: 3 * time.Second, Retries: 0.3}
+	if name == "" {
+		w.Progress = o.Progress
+	}
+	for i := range o.Zones {
+		w.Zones = append(w.Zones, string(rune('a'+i)))
+	}
+	w.Own = func(_ string, f *operator.File) {
+		z := &f.Fleet.Zones
+		z.Enabled, z.Zones = true, w.Zones
+		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(promisesRamp)
+		z.Cold, z.Bears = world.ColdFrom, o.Rate/float64(o.Servers)/world.UsualLoad
+		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(public)
+		p := &f.Fleet.Promises
+		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, pace, stepAtMost, 0.15, in(45*time.Second)
+	}
+	built, err := world.New(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	defer built.End()
+	s := &promisesScene{PromisesOptions: o, World: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
+		parts: map[string][2]time.Time{}, unkept: map[string]string{}}
+	s.quick, s.second, s.small = w.Zones[1], w.Zones[0], w.Zones[2]
+	built.Pace(0.02) // the world's own clients are under no contract
+	for _, v := range built.Of(s.small)[1:] {
+		built.Leave(v.Name)
+	}
+	s.slow(nil)
+	built.Slow = s.answersIn
+	var servers []string
+	for _, v := range built.All() {
+		servers = append(servers, v.Name)
+	}
+	built.Relay.OneWay(built.Names, servers, fault.Fault{Delay: time.Millisecond, Drop: lost})
+	ctx, cancel := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer cancel()
+	parts.Go(func() { s.weather(ctx) })
+	parts.Go(func() { s.watchRecord(ctx) })
+	err = built.Play(ctx, s.script(ctx, &parts), o.Steps)
+	cancel()
+	parts.Wait()
+	s.figures()
+	return s, err
+}
+
+func in(d time.Duration) operator.Duration { return operator.Duration{Duration: d} }
+
+// Regions' response times, and how much longer they are where a region is over full.
+const (
+	nearest, apart = 10 * time.Millisecond, 5 * time.Millisecond
+	slowAnswer     = 60 * time.Millisecond
+	overAnswer     = 60 * time.Millisecond // at most
+	lost           = 0.004                 // of what the relay passes on: held up by a resend
+)
+
+// slow makes some zones slow, all others usual; nil for none.
+func (s *promisesScene) slow(zones map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, zone := range s.World.Zones {
+		s.slowed[zone] = nearest + time.Duration(i)*apart
+		if zones[zone] {
+			s.slowed[zone] = slowAnswer
+		}
+	}
+}
+
+// answersIn is how long a server takes.
+func (s *promisesScene) answersIn(server string) time.Duration {
+	zone := s.Zone(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slowed[zone] + min(time.Duration(max(0, s.full[zone]-0.9)*400*float64(time.Millisecond)), overAnswer)
+}
+
+// weather slows regions down as they fill, as servers do.
+func (s *promisesScene) weather(ctx context.Context) {
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, zone := range s.World.Zones {
+				load := s.loadOf(zone, now.Add(-time.Second), now)
+				s.mu.Lock()
+				s.full[zone] = load
+				s.mu.Unlock()
+			}
+		}
+	}
+}
+
+// loadOf is what a zone's servers were asked, over what they bear warm.
+func (s *promisesScene) loadOf(zone string, from, until time.Time) float64 {
+	bears := float64(len(s.Of(zone))) * s.World.Rate / float64(s.PromisesOptions.Servers) / world.UsualLoad
+	return float64(len(s.Into(zone, from, until))) / until.Sub(from).Seconds() / bears
+}
--- /dev/null
+++ b/internal/rig/promises_contracts.go
@@ -0,0 +1,70 @@
+package rig
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/promise"
+)
+
+// tenant is who has a contract: his realm has its name.
+type tenant struct {
+	promise.Contract
+	part float64 // of all transactions
+}
+
+// within is the bound of all contracts that can be kept.
+const within = 40 * time.Millisecond
+
+// tenants have contracts of three priorities; one may use two zones only, one has few
+// transactions, and one is promised what no region can keep.
+func (s *promisesScene) tenants() []tenant {
+	of := func(name string, priority int, part, share float64, bound time.Duration, zones ...string) tenant {
+		return tenant{promise.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Bound: bound, Window: 10 * time.Second,
+			Share: share, Priority: priority, Zones: zones}, part}
+	}
+	return []tenant{of("gold", 0, 0.22, 0.8, within), of("rigid", 1, 0.38, 0.8, within, s.quick, s.small), of("silver", 1, 0.13, 0.8, within),
+		of("bronze", 2, 0.17, 0.8, within), of("thin", 2, 0.03, 0.9, within), of("dream", 0, 0.07, 0.8, 5*time.Millisecond)}
+}
+
+// agree founds an account with a route for each tenant, and sets the contracts.
+func (s *promisesScene) agree() error {
+	none := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1, Routes: -1, Teams: -1}
+	accounts := account.Change{Ops: []account.Op{{Do: account.Found, Path: "acme", Node: &account.Node{Limits: none}}}}
+	var contracts promise.Change
+	for _, t := range s.tenants() {
+		accounts.Ops = append(accounts.Ops, account.Op{Do: account.PutRoute, Path: "acme", Route: &account.Route{Name: t.Name,
+			Match: account.Match{Tenant: t.Name}, Limits: none, Contract: t.Name}})
+		contracts.Set = append(contracts.Set, t.Contract)
+	}
+	if err := s.sign(entry.Accounts, accounts); err != nil {
+		return err
+	}
+	return s.sign(entry.Contracts, contracts)
+}
+
+func (s *promisesScene) sign(kind entry.Kind, change any) error {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return err
+	}
+	e := entry.Entry{Kind: kind, At: time.Now().UnixMilli(), Why: "the scene", Body: body, Key: account.KeyName(s.root.Public().(ed25519.PublicKey))}
+	e.Sig = ed25519.Sign(s.root, e.Signed())
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	var answer struct{ Outcome entry.Outcome }
+	if err := s.Agents[s.Names[0]].Ask(link.Ask{Ask: "propose", Entry: raw}, &answer); err != nil {
+		return err
+	}
+	if !answer.Outcome.Taken {
+		return fmt.Errorf("%s: not taken: %s", kind, answer.Outcome.Reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/promises_figures.go
@@ -0,0 +1,86 @@
+package rig
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"coralrelay/internal/rig/world"
+)
+
+func (s *promisesScene) figure(name string) string {
+	if s.name == "" {
+		return name
+	}
+	return s.name + "_" + name
+}
+
+// figures are those of the whole run.
+func (s *promisesScene) figures() {
+	s.mu.Lock()
+	from, until := time.Time{}, time.Time{}
+	for _, p := range s.parts {
+		if from.IsZero() || p[0].Before(from) {
+			from = p[0]
+		}
+		if p[1].After(until) {
+			until = p[1]
+		}
+	}
+	s.mu.Unlock()
+	if from.IsZero() {
+		return
+	}
+	until = until.Add(-world.Patience)
+	kept := map[int][]float64{}
+	for _, t := range s.tenants() {
+		share, n := s.kept(t, from, until)
+		s.Set(s.figure("kept_of_"+t.Name), share)
+		if t.Name != "dream" && n > 0 {
+			kept[t.Priority] = append(kept[t.Priority], share)
+		}
+	}
+	for priority, list := range kept {
+		sum := 0.0
+		for _, share := range list {
+			sum += share
+		}
+		s.Set(s.figure(fmt.Sprint("kept_priority_", priority)), sum/float64(len(list)))
+	}
+	moved := 0.0
+	for _, x := range s.moves(from, until) {
+		moved += x.moved
+	}
+	s.Set(s.figure("moved_tenants_a_minute"), moved/until.Sub(from).Minutes())
+	if s.name == "" {
+		s.Least("tenants_up", 1000)
+	}
+}
+
+// beside puts a run's figures beside those of the one that is checked, which has to keep more
+// of the first two priorities.
+func (s *promisesScene) beside(first *promisesScene) {
+	for _, name := range slices.Sorted(figureNames(s)) {
+		first.Set(name, s.Get(name))
+	}
+	for _, v := range s.Violations {
+		first.Broken(s.name+" "+v.Rule, v.Detail)
+	}
+	for _, priority := range []int{0, 1} {
+		figure := fmt.Sprint("kept_priority_", priority)
+		if is, was := first.Get(figure), s.Get(s.figure(figure)); is <= was && len(first.Steps) == 0 {
+			first.Broken("better", fmt.Sprintf("priority %d: %.3f of windows were kept, %s %.3f", priority, is, s.name, was))
+		}
+	}
+}
+
+func figureNames(s *promisesScene) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for name := range s.Figures {
+			if strings.HasPrefix(name, s.name+"_") && !yield(name) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/promises_seen.go
@@ -0,0 +1,218 @@
+package rig
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math"
+	mrand "math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// reply is a final answer as a tenant's client saw it.
+type reply struct {
+	tenant, word string
+	begun        time.Time
+	took         time.Duration
+}
+
+// steered is that the record has another allocation of a contract.
+type steered struct {
+	promise.Allocation
+	moved float64            // of the contract, against where it went before
+	left  map[string]float64 // of it, by region
+	at    time.Time
+}
+
+// clients open tenants' transactions at the rate until ctx ends.
+func (s *promisesScene) clients(ctx context.Context, all *sync.WaitGroup) {
+	rng := mrand.New(mrand.NewPCG(s.PromisesOptions.Seed, 21))
+	tenants := s.tenants()
+	next := time.Now()
+	for id := 0; standin.Sleep(ctx, time.Until(next)); id++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / s.World.Rate * float64(time.Second)))
+		at, x := 0, rng.Float64()
+		for at < len(tenants)-1 && x >= tenants[at].part {
+			x -= tenants[at].part
+			at++
+		}
+		node, addr := s.World.Nodes.Pick(rng)
+		all.Go(func() { s.client(ctx, id, tenants[at].Name, node, addr) })
+	}
+}
+
+func (s *promisesScene) client(ctx context.Context, id int, tenant, node, addr string) {
+	begun := time.Now()
+	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	_ = conn.SetDeadline(begun.Add(world.Patience + 500*time.Millisecond))
+	fmt.Fprintf(conn, "OPEN %016x %s-%x c=feed,d=%d,realm=%s\r\n", 1<<40+id, tenant, id, world.Patience.Milliseconds(), tenant)
+	text, err := bufio.NewReader(conn).ReadString('\n')
+	took := time.Since(begun)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.Broken("answer", fmt.Sprintf("%s-%x at %s got no final answer: %v", tenant, id, node, err))
+		return
+	}
+	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
+	s.mu.Lock()
+	s.said = append(s.said, reply{tenant, word, begun, took})
+	s.mu.Unlock()
+	s.Add("tenants_"+strings.ToLower(word), 1)
+	if word == "UP" {
+		standin.Sleep(ctx, 2*time.Second) // so long that one is little of a server's load
+	}
+}
+
+// watchRecord notes each change of an allocation.
+func (s *promisesScene) watchRecord(ctx context.Context) {
+	last, steps := map[string]promise.Allocation{}, uint64(0)
+	for at := 0; standin.Sleep(ctx, 100*time.Millisecond); at++ {
+		var state entry.State
+		if err := s.Agents[s.Names[at%len(s.Names)]].Ask(link.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
+			continue // an agent that is behind, or has not met anybody
+		}
+		steps = state.Contracts.Steps
+		s.mu.Lock()
+		for _, a := range state.Contracts.Steered {
+			old, ok := last[a.Contract]
+			if ok && old.Since == a.Since {
+				continue
+			}
+			if !ok { // it was drawn evenly among the next hops that it may use
+				old.Shares = s.even(s.tenant(a.Contract))
+			}
+			x := steered{Allocation: a, at: time.Now(), left: map[string]float64{}}
+			for _, zone := range s.World.Zones {
+				x.moved += max(a.Shares[zone]-old.Shares[zone], 0)
+				x.left[zone] = old.Shares[zone] - a.Shares[zone]
+			}
+			if last[a.Contract] = a; a.Unkept != "" {
+				s.unkept[a.Contract] = a.Unkept
+			}
+			s.shares = append(s.shares, x)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// even is where a contract goes that was never steered.
+func (s *promisesScene) even(t tenant) map[string]float64 {
+	shares, all := map[string]float64{}, 0.0
+	for _, v := range s.All() {
+		if len(t.Zones) == 0 || slices.Contains(t.Zones, v.Zone) {
+			shares[v.Zone]++
+			all++
+		}
+	}
+	for zone := range shares {
+		shares[zone] /= all
+	}
+	return shares
+}
+
+// moves are the changes of allocations between two times.
+func (s *promisesScene) moves(from, until time.Time) (list []steered) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.shares {
+		if x.at.After(from) && x.at.Before(until) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// seen is a bound as a client sees it: his node asks a next hop for its load before it sends
+// him there, and his own way comes on top.
+func (t *tenant) seen() time.Duration { return t.Bound + 10*time.Millisecond }
+
+// kept is the share of a tenant's windows of one second between two times in which his
+// promise held, as his clients saw it; and how many windows there were.
+func (s *promisesScene) kept(t tenant, from, until time.Time) (share float64, n int) {
+	window := t.Window / pace
+	all, good := map[int64]float64{}, map[int64]float64{}
+	s.mu.Lock()
+	for _, r := range s.said {
+		if r.tenant == t.Name && !r.begun.Before(from) && r.begun.Before(until) {
+			at := int64(r.begun.Sub(from) / window)
+			if all[at]++; r.word == "UP" && r.took <= t.seen() {
+				good[at]++
+			}
+		}
+	}
+	s.mu.Unlock()
+	held := 0
+	for at, of := range all {
+		if good[at] >= t.Quantile*of {
+			held++
+		}
+	}
+	return float64(held) / math.Max(float64(len(all)), 1), len(all)
+}
+
+// into is the share of a tenant's first lines that went into a zone, as its servers saw it;
+// and how many he had in all.
+func (s *promisesScene) into(name, zone string, from, until time.Time) (share float64, all int) {
+	n := 0
+	for _, l := range s.Lines(from, until) {
+		if strings.HasPrefix(l.Key, name+"-") {
+			if all++; l.Zone == zone {
+				n++
+			}
+		}
+	}
+	return float64(n) / math.Max(float64(all), 1), all
+}
+
+// fullest is the greatest load of a zone in any two seconds.
+func (s *promisesScene) fullest(zone string, from, until time.Time) (most float64) {
+	const over = 2 * time.Second
+	for at := from; !at.Add(over).After(until); at = at.Add(over / 4) {
+		most = max(most, s.loadOf(zone, at, at.Add(over)))
+	}
+	return most
+}
+
+// given is the greatest part of what a zone bears that allocations between two times gave it,
+// by what tenants ask for.
+func (s *promisesScene) given(zone string, from, until time.Time) (most float64) {
+	now := map[string]float64{}
+	for _, t := range s.tenants() {
+		now[t.Name] = t.part * s.even(t)[zone]
+	}
+	bears := float64(len(s.Of(zone))) / float64(s.PromisesOptions.Servers) / world.UsualLoad
+	for _, x := range s.moves(time.Time{}, until) {
+		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Over, 0)
+		sum := 0.0
+		for _, part := range now {
+			sum += part
+		}
+		if x.at.After(from) {
+			most = max(most, sum/bears)
+		}
+	}
+	return most
+}
+
+func (s *promisesScene) tenant(name string) tenant {
+	all := s.tenants()
+	return all[slices.IndexFunc(all, func(t tenant) bool { return t.Name == name })]
+}
--- /dev/null
+++ b/internal/rig/resume_abuse.go
@@ -0,0 +1,115 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// abuse presents tokens a second time, as another client, and spoiled.
+func (s *scene) abuse(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.ResumeOptions.Seed, 99))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for standin.Sleep(ctx, 80*time.Millisecond) {
+		s.mu.Lock()
+		n := len(s.tokens)
+		var t shown
+		if n > 0 {
+			t = s.tokens[rng.IntN(n)]
+		}
+		s.mu.Unlock()
+		if n == 0 {
+			continue
+		}
+		own := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		switch kind := rng.IntN(4); {
+		case kind < 2:
+			// A retry that comes late; while the client may still be on its way it
+			// would only take the token from it.
+			if time.Since(t.at) < 3*time.Second {
+				continue
+			}
+			s.Add("presented again", 1)
+		case kind == 2: // the latest, before its owner is back
+			s.mu.Lock()
+			t = s.tokens[len(s.tokens)-1]
+			s.mu.Unlock()
+			t.key, t.group = "thief", fmt.Sprintf("g%d", rng.IntN(4))
+			s.Add("stolen", 1)
+		default:
+			t.token = spoil(own, t.token)
+			s.Add("spoiled", 1)
+		}
+		wg.Go(func() { standin.Present(ctx, s.nodes, own, t.key, t.group, "feed", t.token, world.Patience) })
+	}
+}
+
+// spoil makes a token that nobody minted.
+func spoil(rng *rand.Rand, token string) string {
+	const digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+	b := []byte(token)
+	switch rng.IntN(3) {
+	case 0: // a bit flipped
+		at := rng.IntN(len(b))
+		b[at] = digits[(strings.IndexByte(digits, b[at])+1+rng.IntN(62))%64]
+	case 1: // cut short
+		b = b[:rng.IntN(len(b))]
+	default: // of a future version
+		b[0], b[1] = 'A', 'g'
+	}
+	return string(b)
+}
+
+// watch compares what clients have with the truth of two seconds ago.
+func (s *scene) watch(ctx context.Context) {
+	for standin.Sleep(ctx, 200*time.Millisecond) {
+		for _, c := range s.clients {
+			before := time.Now().Add(-freshness)
+			versions, since := c.Versions()
+			if c.Plain || since.IsZero() || since.After(before) {
+				continue
+			}
+			s.compare(c, versions, before)
+		}
+	}
+}
+
+func (s *scene) compare(c *standin.Client, versions map[int]uint64, at time.Time) {
+	s.Add("comparisons", 1)
+	for l, v := range s.feed.State(c.Group, s.feed.Head(c.Group, at)) {
+		if versions[l] < v {
+			s.Broken("fresh", fmt.Sprintf("%s has version %d of %s's listing %d, %v after version %d", c.Key, versions[l], c.Group, l, freshness, v))
+		}
+	}
+}
+
+// settled holds every client to the latest of everything.
+func (s *scene) settled() {
+	for _, c := range s.clients {
+		if c.Plain {
+			continue
+		}
+		versions, since := c.Versions()
+		if since.IsZero() {
+			s.Broken("fresh", c.Key+" has no stream at the end")
+			continue
+		}
+		s.compare(c, versions, time.Now())
+	}
+}
+
+func (s *scene) report(ctx context.Context) {
+	for n := 1; standin.Sleep(ctx, time.Second); n++ {
+		if s.Progress != nil {
+			fmt.Fprintf(s.Progress, "\r%3d s  %5.0f moves  %5.0f resumed  %5.0f snapshots  %3.0f drains  %2.0f restarts  %2.0f nodes killed ",
+				n, s.Get("moves"), s.Get("resumed"), s.Get("snapshots"), s.Get("drains"), s.Get("planned restarts"), s.Get("nodes killed"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/resume_play.go
@@ -0,0 +1,81 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"coralrelay/internal/keyfile"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// play runs the script until there were enough moves, then lets all come to rest.
+func (s *scene) play(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	changes, still := context.WithCancel(ctx)
+	defer still()
+	wg.Go(func() {
+		for standin.Sleep(changes, changeEvery) {
+			s.feed.Step()
+		}
+	})
+	for i := range s.Clients {
+		c := &standin.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
+			Patience: world.Patience, Front: s.nodes, Diary: s, Twice: 0.1, Plain: i%25 == 24}
+		c.Seed(s.ResumeOptions.Seed, uint64(i))
+		s.clients = append(s.clients, c)
+		wg.Go(func() {
+			standin.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(s.Clients))
+			c.Run(ctx)
+		})
+	}
+	wg.Go(func() { s.abuse(ctx) })
+	wg.Go(func() { s.watch(changes) })
+	wg.Go(func() { s.report(ctx) })
+	standin.Sleep(ctx, arrivals+time.Second)
+	rotated := false
+	limit := time.Now().Add(time.Duration(s.Moves)*250*time.Millisecond + 30*time.Second)
+	for s.Get("moves") < float64(s.Moves) {
+		if time.Now().After(limit) {
+			s.Broken("bound", fmt.Sprintf("%g of %d moves came about in time", s.Get("moves"), s.Moves))
+			break
+		}
+		if !rotated && s.Get("moves") > float64(s.Moves)/2 {
+			rotated = true
+			if err := s.rotate(); err != nil {
+				return err
+			}
+		}
+		if err := s.fault(ctx, &wg); err != nil {
+			return err
+		}
+		if !standin.Sleep(ctx, time.Second) {
+			return ctx.Err()
+		}
+	}
+	// The end: faults heal, changes stop, and all that was ever said has to arrive.
+	standin.Sleep(ctx, 4*time.Second)
+	still()
+	standin.Sleep(ctx, freshness+world.OnSockets)
+	s.settled()
+	cancel()
+	return nil
+}
+
+// rotate puts a second key in force while the scene runs.
+func (s *scene) rotate() error {
+	if _, _, err := keyfile.New(s.keys, time.Now().Add(time.Second)); err != nil {
+		return err
+	}
+	s.Add("key rotations", 1)
+	for _, n := range s.nodes {
+		n.Proc.Signal(syscall.SIGHUP)
+	}
+	return s.loadKeys()
+}
--- /dev/null
+++ b/internal/rig/speed_rates.go
@@ -0,0 +1,111 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/net/ipv4"
+
+	"coralrelay/internal/operator"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// speedOf measures one way.
+func speedOf(ctx context.Context, r *world.Result, w way, o UDPOptions, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	roster := standin.NewRoster()
+	defer roster.Close()
+	server := standin.NewServer(standin.ServerOptions{Name: "s0", Feed: standin.NewFeed(1, 1, 1), Witness: quiet{r}, Capacity: 1_000_000})
+	addrs, err := server.Start([]string{"n0"})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer server.Kill()
+	roster.Set("s0", standin.Active, time.Time{}, addrs)
+	in, err := newSink(ctx, addrs["n0"])
+	if err != nil {
+		return 0, nil, err
+	}
+	listen, err := world.Reserve()
+	if err != nil {
+		return 0, nil, err
+	}
+	if w.mode == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return 0, nil, err
+		}
+		cmd := exec.CommandContext(ctx, self, "bare", listen, addrs["n0"])
+		if err := alone(apart, 1, cmd.Start); err != nil {
+			return 0, nil, err
+		}
+		defer func() { cancel(); _ = cmd.Wait() }()
+	} else {
+		discovery, err := roster.Listen("n0")
+		if err != nil {
+			return 0, nil, err
+		}
+		own := operator.Default()
+		own.UDP.Listen, own.UDP.Mode, own.UDP.Proxy = listen, w.mode, w.proxy
+		node, err := world.NewNode(world.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own, Cores: o.Cores})
+		if err != nil {
+			return 0, nil, err
+		}
+		if err := alone(apart, o.Cores, func() error { return node.Start(ctx) }); err != nil {
+			return 0, nil, err
+		}
+		defer node.Kill()
+	}
+	speakers, err := newSpeakers(ctx, listen, 2*o.Cores)
+	if err != nil {
+		return 0, nil, err
+	}
+	if err := settled(ctx, speakers, in); err != nil {
+		return 0, nil, err
+	}
+	say := func(rate float64) {
+		speaking, stop := context.WithTimeout(ctx, speedPhase)
+		defer stop()
+		var wg sync.WaitGroup
+		for _, s := range speakers {
+			wg.Go(func() { s.say(speaking, rate/float64(len(speakers))) })
+		}
+		wg.Wait()
+	}
+	in.listen(true)
+	say(pacedRate)
+	delay = in.listen(false)
+	came, begun := in.came.Load(), time.Now()
+	say(0)
+	standin.Sleep(ctx, 20*time.Millisecond)
+	return float64(in.came.Load()-came) / time.Since(begun).Seconds(), delay, ctx.Err()
+}
+
+// settled waits until every flow has its place.
+func settled(ctx context.Context, speakers []speaker, in *sink) error {
+	for begun := time.Now(); ; {
+		before, sent := in.came.Load(), 0
+		for _, s := range speakers {
+			for _, c := range s.conns {
+				n, _ := c.WriteBatch([]ipv4.Message{{Buffers: [][]byte{make([]byte, 64)}}}, 0)
+				sent += max(n, 0)
+			}
+		}
+		if !standin.Sleep(ctx, 200*time.Millisecond) {
+			return ctx.Err()
+		}
+		if sent == speedFlows && in.came.Load()-before >= speedFlows {
+			return nil
+		}
+		if time.Since(begun) > 10*time.Second {
+			return fmt.Errorf("of %d flows %d go through", speedFlows, in.came.Load()-before)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/world/play.go
@@ -0,0 +1,89 @@
+package world
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	mrand "math/rand/v2"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Play has clients come at the rate, and plays steps one after another: the first in any
+// case, of the others those that are chosen, or all. Then every process must still run that
+// the scene has not ended.
+func (w *World) Play(ctx context.Context, steps []Step, chosen []string) error {
+	for _, name := range chosen {
+		if !slices.ContainsFunc(steps, func(s Step) bool { return s.Name == name }) {
+			return fmt.Errorf("no step %q", name)
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { w.load(ctx, &wg) })
+	if w.Loads {
+		wg.Go(func() { w.report(ctx) })
+	}
+	rng := mrand.New(mrand.NewPCG(w.Options.Seed, 11))
+	for i, step := range steps {
+		if i > 0 && len(chosen) > 0 && !slices.Contains(chosen, step.Name) {
+			continue
+		}
+		if w.Progress != nil {
+			fmt.Fprintf(w.Progress, "%5.1f s  %s\n", w.Since().Seconds(), step.Name)
+		}
+		if err := step.Do(ctx, rng); err != nil || ctx.Err() != nil {
+			return cmp.Or(err, ctx.Err())
+		}
+	}
+	for _, n := range w.Nodes {
+		w.sound(n.Proc)
+		if a := w.Agents[n.Name]; a != nil {
+			w.sound(a.Proc)
+		}
+	}
+	return nil
+}
+
+func (w *World) sound(p *Proc) {
+	if err := p.Sound(); err != nil {
+		w.Broken("crash", err.Error())
+	}
+}
+
+// report has servers tell the load that they are asked to bear, over the last two seconds.
+func (w *World) report(ctx context.Context) {
+	const over = 2 * time.Second
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		asked := map[string]float64{}
+		for _, l := range w.Lines(now.Add(-over), now) {
+			asked[l.Server]++
+		}
+		for _, v := range w.All() {
+			v.Report(max(0.01, asked[v.Name]/over.Seconds()/w.Bears(v, now)))
+		}
+	}
+}
+
+// Sabotaged builds one of the commands with guards that can be taken out.
+func Sabotaged(ctx context.Context, dir, command string) (binary string, err error) {
+	binary = filepath.Join(dir, command+"-sabotage")
+	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "sabotage", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build with -tags sabotage, from the module's root: %w: %s", err, out)
+	}
+	return binary, nil
+}
--- a/internal/rig/result.go
+++ b/internal/rig/world/result.go
@@ -1,6 +1,4 @@
-// Package rig plays scenes: real nodes and stand-ins on loopback, a seeded script
-// with faults, and checks of the rules from the stand-ins' side.
-package rig
+package world
 
 import (
 	"cmp"
@@ -58,6 +56,9 @@
 	}
 }
 
+// Since is how long the scene has run.
+func (r *Result) Since() time.Duration { return time.Since(r.begun) }
+
 // Add adds to a figure.
 func (r *Result) Add(figure string, x float64) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/rig/world/servers.go
@@ -0,0 +1,133 @@
+package world
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"coralrelay/internal/standin"
+)
+
+// Server is a feed server in a zone.
+type Server struct {
+	*standin.Server
+	Zone    string
+	started time.Time // zero for warm from the beginning
+}
+
+// linksAt is where nodes reach servers through the relay.
+const linksAt = "127.0.7.1"
+
+// Join starts a server and lists it; a cold one begins its ramp now.
+func (w *World) Join(name, zone string, cold bool) (time.Time, error) {
+	v := &Server{Server: standin.NewServer(standin.ServerOptions{Name: name, Witness: w, Capacity: 10_000}), Zone: zone}
+	v.Report(warmLoad)
+	started := time.Now()
+	if cold {
+		v.Report(0.05)
+		v.started = started
+	}
+	addrs, err := v.Start(w.Names)
+	if err != nil {
+		return started, err
+	}
+	if w.Links {
+		w.Relay.Place(name, zone)
+		addrs = maps.Clone(addrs) // the server goes by its own
+		for node, addr := range addrs {
+			if addrs[node], err = w.Relay.AddFor(node, name, addr, linksAt); err != nil {
+				return started, err
+			}
+		}
+	}
+	w.mu.Lock()
+	w.servers = append(w.servers, v)
+	w.zones[name] = zone
+	w.mu.Unlock()
+	w.Roster.Place(name, zone)
+	w.Roster.Set(name, standin.Active, v.started, addrs)
+	return started, nil
+}
+
+// Leave takes a server off the list and ends it for good.
+func (w *World) Leave(name string) {
+	w.Roster.Set(name, standin.Left, time.Time{}, nil)
+	w.mu.Lock()
+	at := slices.IndexFunc(w.servers, func(v *Server) bool { return v.Name == name })
+	v := w.servers[at]
+	w.servers = slices.Delete(slices.Clone(w.servers), at, at+1)
+	w.mu.Unlock()
+	v.Kill()
+}
+
+// All are the servers there are, in the order in which they came.
+func (w *World) All() []*Server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.servers)
+}
+
+// Of are the servers of some zones.
+func (w *World) Of(zones ...string) []*Server {
+	return slices.DeleteFunc(w.All(), func(v *Server) bool { return !slices.Contains(zones, v.Zone) })
+}
+
+// KillServers ends servers as killed processes end; the roster is not told.
+func (w *World) KillServers(list []*Server) error {
+	for _, v := range list {
+		v.Kill()
+		if err := w.Relay.Down(v.Name, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartServers starts killed servers at their addresses. The roster tells that they are cold
+// from now on, unless they come back spoilt: then it is not told at all.
+func (w *World) StartServers(list []*Server, way standin.Spoilt) error {
+	for _, v := range list {
+		v.Spoil(way)
+		if _, err := v.Start(w.Names); err != nil {
+			return err
+		}
+		if err := w.Relay.Down(v.Name, false); err != nil {
+			return err
+		}
+		if way == standin.Sound {
+			w.Chill(v)
+		}
+	}
+	return nil
+}
+
+// Chill says that a server has begun anew just now: it is cold, and the roster tells so.
+func (w *World) Chill(v *Server) {
+	now := time.Now()
+	v.Spoil(standin.Sound)
+	w.mu.Lock()
+	v.started = now
+	w.mu.Unlock()
+	w.Roster.Set(v.Name, standin.Active, now, nil)
+}
+
+// warmth is the part of what it can do warm that a server can do at a time.
+func (w *World) warmth(v *Server, at time.Time) float64 {
+	w.mu.Lock()
+	started := v.started
+	w.mu.Unlock()
+	if started.IsZero() {
+		return 1
+	}
+	return w.warm(at.Sub(started))
+}
+
+// warm is the same by age.
+func (w *World) warm(age time.Duration) float64 {
+	return ColdFrom + (1-ColdFrom)*min(1, max(0, age.Seconds()/w.Ramp.Seconds()))
+}
+
+// Bears is how many first lines a second fill a server at a time.
+func (w *World) Bears(v *Server, at time.Time) float64 {
+	return w.warmth(v, at) * w.Rate / float64(w.Options.Servers) / UsualLoad
+}
--- /dev/null
+++ b/internal/rig/zones/checks.go
@@ -0,0 +1,127 @@
+package zones
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+// left waits until some nodes must have left a zone, and holds them to the bounds: none of
+// them sends it a first line later than bound after the fault, and of those of one viewpoint,
+// who leave by one change, the last leaves no later than togetherBound after the first. A
+// viewpoint that can't tell need not leave, as long as it sends nothing.
+func (s *scene) left(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
+	late := fault.Add(bound + slack)
+	standin.Sleep(ctx, time.Until(late)+looksOn)
+	if ctx.Err() != nil {
+		return
+	}
+	at, first := s.watch.leaves(zone, fault), map[string]time.Time{} // by viewpoint
+	for name, t := range at {
+		if from := s.Zone(name); slices.Contains(nodes, name) && (first[from].IsZero() || t.Before(first[from])) {
+			first[from] = t
+		}
+	}
+	if len(first) == 0 {
+		s.Broken("leave", fmt.Sprintf("%s: nobody had left %s %v after the fault", step, zone, time.Since(fault).Round(time.Millisecond)))
+	}
+	lastLine, stayed := time.Duration(0), 0.0
+	for _, name := range nodes {
+		t, ok := at[name]
+		if !ok {
+			stayed++
+			continue
+		}
+		s.most(step+"_left_ms", t.Sub(fault))
+		spread := t.Sub(first[s.Zone(name)])
+		s.most(step+"_spread_ms", spread)
+		if spread > togetherBound+2*looks {
+			s.Broken("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, togetherBound))
+		}
+	}
+	s.Set(step+"_not_left", max(s.Get(step+"_not_left"), stayed))
+	for _, l := range s.Into(zone, fault, time.Now()) {
+		if !slices.Contains(nodes, l.Node) {
+			continue
+		}
+		lastLine = l.At.Sub(fault)
+		begun := first[s.Zone(l.Node)]
+		switch {
+		case l.At.After(late):
+			s.Broken("leave", fmt.Sprintf("%s: %s sent %s a first line %v after the fault", step, l.Node, l.Server, lastLine))
+		case !begun.IsZero() && l.At.Sub(begun) > togetherBound+atOnce:
+			s.Broken("together", fmt.Sprintf("%s: %s sent %s a first line %v after the first of its zone had left", step, l.Node, l.Server, l.At.Sub(begun)))
+		}
+	}
+	s.most(step+"_last_line_ms", lastLine)
+}
+
+// looksOn is for how long after the bound it is looked on: who has not left is seen by then.
+const looksOn = 1200 * time.Millisecond
+
+// most keeps the greatest of a figure, in ms.
+func (s *scene) most(figure string, d time.Duration) {
+	s.Set(figure, max(s.Get(figure), float64(d.Milliseconds())))
+}
+
+// stays holds some nodes to going on with a zone: they send it as much as before, but for
+// chance.
+func (s *scene) stays(step, zone string, nodes []string, from, until time.Time) {
+	n := 0
+	for _, l := range s.Into(zone, from, until) {
+		if slices.Contains(nodes, l.Node) {
+			n++
+		}
+	}
+	usual := s.rate / float64(len(s.Names)) * float64(len(nodes)) / float64(len(s.Zones)) * until.Sub(from).Seconds()
+	s.Set(step+"_goes_on", float64(n)/usual)
+	if float64(n) < 0.4*usual {
+		s.Broken("viewpoint", fmt.Sprintf("%s: those who reach %s sent it %d first lines, about %.0f are usual", step, zone, n, usual))
+	}
+}
+
+// within holds servers to what they can bear, as they are full: what is over has to be
+// refused before it is sent.
+func (s *scene) within(step string, list []*world.Server, from, until time.Time) {
+	const window = time.Second
+	bears := 0.0
+	for _, v := range list {
+		bears += s.Bears(v, until)
+	}
+	var at []time.Time
+	for _, l := range s.Lines(from, until) {
+		if slices.ContainsFunc(list, func(v *world.Server) bool { return v.Name == l.Server }) {
+			at = append(at, l.At)
+		}
+	}
+	most, first := 0.0, 0
+	for i, t := range at {
+		for t.Sub(at[first]) > window {
+			first++
+		}
+		most = max(most, float64(i-first+1)/bears/window.Seconds())
+	}
+	s.Set(step+"_survivors_most_of_budget", most)
+	if most > survivors {
+		s.Broken("panic", fmt.Sprintf("%s: those that stay were sent %.2f times what they bear within %v", step, most, window))
+	}
+}
+
+// survivors is how full those that stay may be, counted in a second: full, and by chance.
+const survivors = 1.25
+
+// comesBack waits until the fleet sends everywhere again, all members alike.
+func (s *scene) comesBack(ctx context.Context, step string) {
+	took, came := world.Await(ctx, returnBound, func() bool { return s.watch.settled(s.Names) })
+	if ctx.Err() != nil {
+		return
+	}
+	s.most(step+"_return_ms", took)
+	if !came {
+		s.Broken("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watch.say()))
+	}
+}
--- /dev/null
+++ b/internal/rig/zones/steps.go
@@ -0,0 +1,205 @@
+package zones
+
+import (
+	"context"
+	"fmt"
+	mrand "math/rand/v2"
+	"slices"
+	"time"
+
+	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/rig/fault"
+	"coralrelay/internal/rig/world"
+	"coralrelay/internal/standin"
+)
+
+func spoil(list []*world.Server, way standin.Spoilt) {
+	for _, v := range list {
+		v.Spoil(way)
+	}
+}
+
+// silent has all servers of a zone stop, as processes that hang: what is sent to them is
+// lost, and seen.
+func (s *scene) silent(ctx context.Context, _ *mrand.Rand) error {
+	zone := s.victim()
+	begun := time.Now()
+	spoil(s.Of(zone), standin.Silent)
+	s.left(ctx, "silent", zone, s.Names, begun, leaveBound)
+	spoil(s.Of(zone), standin.Sound)
+	s.comesBack(ctx, "silent")
+	s.Least("silent_last_line_ms", 1) // else nobody had sent there
+	return nil
+}
+
+// cold kills all servers of a zone, and has them all back at once, cold.
+func (s *scene) cold(ctx context.Context, _ *mrand.Rand) error {
+	zone := s.victim()
+	list, begun := s.Of(zone), time.Now()
+	if err := s.dies(ctx, "cold", list, s.Names, begun, leaveBound); err != nil {
+		return err
+	}
+	back := time.Now()
+	for _, v := range list {
+		s.Chill(v)
+	}
+	s.comesBack(ctx, "cold")
+	steps := map[int]bool{}
+	for _, p := range s.watch.seen(back, func(p link.Seen) bool { return p.To == zone && p.Step > 0 }) {
+		steps[p.Step] = true
+	}
+	s.Set("cold_steps_seen", float64(len(steps)))
+	s.Least("cold_steps_seen", 3)
+	most := 0.0
+	for _, v := range list {
+		x, _ := s.Against(v.Name, back, time.Now())
+		most = max(most, x)
+	}
+	s.Set("cold_most_of_budget", most)
+	if most > world.Chance {
+		s.Broken("cold", fmt.Sprintf("a server that came back cold was sent %.2f times what it may be within %v", most, window))
+	}
+	s.Least("cold_most_of_budget", 0.02) // else nobody came back
+	return nil
+}
+
+// dies kills servers of one zone. They refuse at once; from when nobody may send there any
+// more, something listens in their place that answers nobody and tells who does.
+func (s *scene) dies(ctx context.Context, step string, list []*world.Server, nodes []string, begun time.Time, bound time.Duration) error {
+	if err := s.KillServers(list); err != nil {
+		return err
+	}
+	standin.Sleep(ctx, time.Until(begun.Add(bound+slack)))
+	if err := s.StartServers(list, standin.Silent); err != nil {
+		return err
+	}
+	s.left(ctx, step, list[0].Zone, nodes, begun, bound)
+	return nil
+}
+
+// half kills half of a zone's servers: it is sent less, and is not left.
+func (s *scene) half(ctx context.Context, _ *mrand.Rand) error {
+	zone := s.victim()
+	all, begun := s.Of(zone), time.Now()
+	dead, sound := all[:(len(all)+1)/2], all[(len(all)+1)/2:]
+	if err := s.KillServers(dead); err != nil {
+		return err
+	}
+	standin.Sleep(ctx, leaveBound+slack)
+	from := time.Now()
+	standin.Sleep(ctx, 1500*time.Millisecond)
+	s.within("half", sound, from, time.Now())
+	got := 0
+	for _, l := range s.Into(zone, from, time.Now()) {
+		if slices.ContainsFunc(sound, func(v *world.Server) bool { return v.Name == l.Server }) {
+			got++
+		}
+	}
+	usual := s.rate / float64(len(s.All())) * float64(len(sound)) * time.Since(from).Seconds()
+	s.Set("half_sound_share", float64(got)/usual)
+	if float64(got) < 0.3*usual {
+		s.Broken("half", fmt.Sprintf("the sound servers of %s got %d first lines, about %.0f are usual", zone, got, usual))
+	}
+	s.notLeft("half", begun, func(p link.Seen) bool { return p.To == zone })
+	least := 1.0
+	for _, p := range s.watch.seen(begun, func(p link.Seen) bool { return p.To == zone }) {
+		least = min(least, p.Share)
+	}
+	s.Set("half_least_share", least)
+	if err := s.StartServers(dead, standin.Sound); err != nil {
+		return err
+	}
+	s.comesBack(ctx, "half")
+	return nil
+}
+
+// notLeft holds the record to having left none of some pairs.
+func (s *scene) notLeft(step string, since time.Time, pairs func(p link.Seen) bool) {
+	for _, p := range s.watch.seen(since, func(p link.Seen) bool { return pairs(p) && gone(p.Posture) }) {
+		s.Broken("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.From, p.To))
+		return
+	}
+}
+
+// two kills two zones at once, while more is asked than what is left can carry: that much is
+// refused.
+func (s *scene) two(ctx context.Context, _ *mrand.Rand) error {
+	one, other := s.victim(), s.victim()
+	stay := s.Of(slices.DeleteFunc(slices.Clone(s.Zones), func(z string) bool { return z == one || z == other })...)
+	// So much that it would make those that stay twice as full as they may be.
+	s.Surge(2 * float64(len(stay)) / float64(len(s.All())) / world.UsualLoad)
+	standin.Sleep(ctx, 3*time.Second) // seen by the record
+	begun := time.Now()
+	lost := s.Of(one, other)
+	if err := s.KillServers(lost); err != nil {
+		return err
+	}
+	standin.Sleep(ctx, leaveBound+slack)
+	if err := s.StartServers(lost, standin.Silent); err != nil {
+		return err
+	}
+	from := time.Now()
+	s.left(ctx, "two", one, s.Names, begun, leaveBound)
+	s.left(ctx, "two", other, s.Names, begun, leaveBound)
+	standin.Sleep(ctx, time.Second)
+	s.within("two", stay, from, time.Now())
+	s.Least("two_survivors_most_of_budget", 0.5) // else nothing was asked of them
+	// The nodes' own rules keep those that stay from harm as well; what the record says is over
+	// is what the fleet refuses as one.
+	s.Set("two_over", s.watch.over(begun))
+	s.Least("two_over", 0.05)
+	s.Surge(1)
+	for _, v := range lost {
+		s.Chill(v)
+	}
+	s.comesBack(ctx, "two")
+	return nil
+}
+
+// flap has a zone fail and serve by turns, every 5 s: once it has failed a second time, it is
+// not tried while it is held.
+func (s *scene) flap(ctx context.Context, _ *mrand.Rand) error {
+	const every, most = 5 * time.Second, 5
+	zone := s.victim()
+	begun, twice := time.Now(), false
+	for n := 0; n < most && !twice; n++ {
+		if n > 0 {
+			standin.Sleep(ctx, every)
+		}
+		spoil(s.Of(zone), standin.Silent)
+		standin.Sleep(ctx, every)
+		spoil(s.Of(zone), standin.Sound)
+		for _, from := range s.Zones {
+			twice = twice || len(s.leftAt(from, zone, begun, every)) > 1
+		}
+	}
+	standin.Sleep(ctx, hold-leaveBound/2) // it serves, and is held all the same
+	for _, from := range s.Zones {
+		left := s.leftAt(from, zone, begun, every)
+		s.Set("flap_left", max(s.Get("flap_left"), float64(len(left))))
+		if len(left) < 2 {
+			continue
+		}
+		for _, l := range s.Into(zone, left[1].Add(togetherBound+atOnce), left[1].Add(hold)) {
+			if s.Zone(l.Node) == from {
+				s.Broken("hold", fmt.Sprintf("%s was sent a first line by %s %v after it had failed again", zone, l.Node, l.At.Sub(left[1])))
+			}
+		}
+	}
+	s.Least("flap_left", 2) // else nothing was held
+	s.comesBack(ctx, "flap")
+	return nil
+}
+
+// leftAt is when one viewpoint left a zone: times more than apart from one another.
+func (s *scene) leftAt(from, zone string, since time.Time, apart time.Duration) (left []time.Time) {
+	for _, p := range s.watch.seen(since, func(p link.Seen) bool { return p.From == from && p.To == zone && gone(p.Posture) }) {
+		if n := len(left); n == 0 || p.at.Sub(left[n-1]) > apart {
+			left = append(left, p.at)
+		}
+	}
+	return left
+}
+
+// cut is what befalls a link that is broken.
+var cut = fault.Fault{Cut: true}
--- a/internal/standin/roster.go
+++ b/internal/standin/roster.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -43,6 +44,7 @@
 	mu         sync.Mutex
 	generation int64
 	entries    map[string]Instance
+	zones      map[string]string // by server, where Place has told one
 	changes    []change
 	changed    chan struct{}
 	told       map[string]map[string]time.Time // by node, then server: when it was told that it leaves
@@ -51,7 +53,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
-	return &Roster{entries: map[string]Instance{}, changed: make(chan struct{}), told: map[string]map[string]time.Time{}}
+	return &Roster{entries: map[string]Instance{}, zones: map[string]string{}, changed: make(chan struct{}), told: map[string]map[string]time.Time{}}
 }
 
 // Listen opens the address at which node asks.
@@ -80,13 +82,20 @@
 	}
 }
 
+// Place says in which zone a server is, before it is listed; a is where all others are.
+func (r *Roster) Place(id, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.zones[id] = zone
+}
+
 // Set puts an entry into the list or changes it. addrs are the server's addresses,
 // one for each node; nil keeps them.
 func (r *Roster) Set(id, lifecycle string, started time.Time, addrs map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[id]
-	e.ID, e.Zone, e.Weight, e.Lifecycle = id, "a", 1, lifecycle
+	e.ID, e.Zone, e.Weight, e.Lifecycle = id, cmp.Or(r.zones[id], "a"), 1, lifecycle
 	if addrs != nil {
 		e.addrs = addrs
 	}
