Scene zones asks that there was traffic before a fault, and waits for the record's word

It asks now for first lines in the second before, and waits up to 3 s beyond the bound for the record to say what the nodes keep to already.

--- a/internal/rig/zones/checks.go
+++ b/internal/rig/zones/checks.go
@@ -16,7 +16,13 @@
 // viewpoint that can't tell need not leave, as long as it sends nothing.
 func (s *scene) left(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
 	late := fault.Add(bound + slack)
+	s.Set(step+"_asked_before", float64(len(s.Into(zone, fault.Add(-time.Second), fault))))
+	s.Least(step+"_asked_before", 5) // else nobody had anything to leave
 	standin.Sleep(ctx, time.Until(late)+looksOn)
+	world.Await(ctx, time.Until(fault.Add(bound+decided)), func() bool {
+		left := s.watch.leaves(zone, fault)
+		return slices.ContainsFunc(nodes, func(name string) bool { return !left[name].IsZero() })
+	})
 	if ctx.Err() != nil {
 		return
 	}
@@ -60,8 +66,13 @@
 	s.most(step+"_last_line_ms", lastLine)
 }
 
-// looksOn is for how long after the bound it is looked on: who has not left is seen by then.
-const looksOn = 1200 * time.Millisecond
+const (
+	// looksOn is for how long after the bound it is looked on: who has not left is seen by then.
+	looksOn = 1200 * time.Millisecond
+	// decided is how long after the bound the record may need to say what the nodes keep to by
+	// themselves: once they ask a zone only by probes, evidence of it comes slowly.
+	decided = 3 * time.Second
+)
 
 // most keeps the greatest of a figure, in ms.
 func (s *scene) most(figure string, d time.Duration) {
