Nothing is sent once a caller has left in the dial; kept probes, repeat windows, moves

The module took its weight off only after a second (TestLeaversGiveBack). - A repeat of what may have run was let into a dial that could outlast its window. Ruled out by reading: Abort after a reset loses no line that was written, writes go out at once (Go sets TCP_NODELAY).

--- a/balance/fading.go
+++ b/balance/fading.go
@@ -27,6 +27,15 @@
 
 func decay(age, span time.Duration) float64 { return math.Exp(-float64(age) / float64(span)) }
 
+// takeBack takes off what r weighs where it was sent: that attempt has come to nothing.
+func (r *request) takeBack(now time.Duration) (was *server) {
+	was, r.at = r.at, nil
+	if was != nil {
+		was.placed.add(now, -r.weight*decay(now-r.since, was.placed.span))
+	}
+	return was
+}
+
 // learnTrip follows the usual time of a probe and its deviation.
 func (b *Balancer) learnTrip(t float64) {
 	if b.rtt == 0 {
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -50,6 +50,9 @@
 		b.ended(e)
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
+			if r.phase == sent {
+				r.takeBack(b.now)
+			}
 			b.forget(r)
 		}
 	case TimerFired:
--- a/balance/place.go
+++ b/balance/place.go
@@ -40,7 +40,11 @@
 	if b.now < b.sharedTo {
 		b.zone(s.Zone).used++
 	}
-	b.do(Attempt{ID: r.ID, Server: s.ID})
+	var within time.Duration // a repeat sent when its window is over would run twice
+	if r.ran != nil && r.class.Effect == Keyed {
+		within = r.ranAt + r.class.Window - b.now
+	}
+	b.do(Attempt{ID: r.ID, Server: s.ID, Timeout: within})
 }
 
 func (b *Balancer) stands(e Started) {
@@ -96,12 +100,7 @@
 // server, and so it does after an error where a repeat does no harm; after a
 // reset or time-out nothing is sent again.
 func (b *Balancer) failed(r *request, o Outcome) {
-	s := r.at
-	r.at = nil
-	if s != nil { // it has come to nothing, and weighs nothing there
-		s.placed.add(b.now, -r.weight*decay(b.now-r.since, s.placed.span))
-	}
-	again := true
+	s, again := r.takeBack(b.now), true
 	switch o {
 	case Full, ConnectFailed, Moot:
 	default:
--- a/internal/decide/branches.go
+++ b/internal/decide/branches.go
@@ -19,6 +19,7 @@
 			return
 		}
 		e.open = true
+		e.trace.word("up")
 		if e.asked.At != "" {
 			c.handle(balance.OpenConn{Request: c.request(e), Server: server})
 		} else {
@@ -37,6 +38,9 @@
 	latency time.Duration, load balance.Load) {
 	c.post(func() {
 		e := c.known(item)
+		if e != nil {
+			e.trace.word(outcomes[outcome])
+		}
 		switch {
 		case e == nil:
 		case e.asked.At != "":
@@ -58,7 +62,7 @@
 	next := time.Now().Add(homeAgain)
 	gone := c.listed != nil && !c.listed[server]
 	if gone || outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
-		c.drop(e.asked.ID)
+		c.drop(e.asked.ID, "failed")
 		e.item.Fail()
 		return
 	}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -57,6 +57,7 @@
 	early    func()         // its end, told before its start
 	route    *route.Route   // that it counts on; nil for none
 	bound    *balance.Bound // and where it may be drawn by it
+	trace    *trace         // nil where nobody reads it
 }
 
 // New returns a Core for settings; Run starts it.
@@ -137,19 +138,21 @@
 			if e.route != nil && e.attempts > 0 {
 				c.Router.Spent(e.route, 1, 0)
 			}
+			e.trace.branch(a.Server)
 			e.branches.Start(e.item, e.attempts, a.Server, deadline)
 			e.attempts++
 		}
 	case balance.Refuse:
-		if e := c.drop(a.ID); e != nil {
+		if e := c.drop(a.ID, "refused"); e != nil {
 			e.item.Refuse(a.Pause)
 		}
 	case balance.Fail:
-		if e := c.drop(a.ID); e != nil {
+		if e := c.drop(a.ID, "failed"); e != nil {
 			e.item.Fail()
 		}
 	case balance.Move:
 		if e := c.transactions[a.ID]; e != nil {
+			e.trace.word("moved")
 			e.item.Move()
 		}
 	case balance.Probe:
@@ -163,12 +166,16 @@
 	}
 }
 
-// drop forgets a transaction that is answered for good.
-func (c *Core) drop(id string) *entry {
+// drop forgets a transaction that is over, for good; how is for the log.
+func (c *Core) drop(id, how string) *entry {
 	e := c.transactions[id]
-	if e != nil && e.route != nil {
+	if e == nil {
+		return nil
+	}
+	if e.route != nil {
 		c.Router.Closed(e.route)
 	}
+	e.trace.end(e.asked, how)
 	delete(c.transactions, id)
 	return e
 }
--- a/internal/decide/items.go
+++ b/internal/decide/items.go
@@ -49,12 +49,13 @@
 			item.Fail()
 			return
 		}
-		e := &entry{item: item, asked: r, branches: b}
+		e := &entry{item: item, asked: r, branches: b, trace: traced()}
 		c.transactions[r.ID] = e
 		if r.At != "" {
 			// It runs at that next hop already: there is nothing to decide, and
 			// the module hears of it when it is up.
 			e.server, e.attempts = r.At, 1
+			e.trace.branch(r.At)
 			c.adopted(e)
 			b.Start(item, 0, r.At, r.Deadline)
 			return
@@ -76,7 +77,7 @@
 func (c *Core) CallerGone(item Item) {
 	c.post(func() {
 		if e := c.known(item); e != nil {
-			c.drop(e.asked.ID)
+			c.drop(e.asked.ID, "its caller left")
 			c.handle(balance.ClientGone{ID: e.asked.ID})
 		}
 	})
@@ -91,7 +92,7 @@
 			return
 		}
 		end := func() {
-			c.drop(e.asked.ID)
+			c.drop(e.asked.ID, outcomes[outcome])
 			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: e.attempts - 1, Server: e.server,
 				Outcome: outcome, Final: true, Load: balance.NoLoad})
 		}
--- /dev/null
+++ b/internal/decide/trace_test.go
@@ -0,0 +1,63 @@
+package decide
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/logs"
+)
+
+// One transaction can be followed by its id: its branches in order, where they went, how
+// each ended, and its end. With debug lines off nothing is kept of it.
+func TestTrace(t *testing.T) {
+	var out bytes.Buffer
+	was := slog.Default()
+	t.Cleanup(func() { slog.SetDefault(was); _ = logs.SetLevel("info") })
+	logs.Set(&out, false)
+	for _, level := range []string{"info", "debug"} {
+		if err := logs.SetLevel(level); err != nil {
+			t.Fatal(err)
+		}
+		c, p := start(t)
+		load := balance.NoLoad
+		load.X0 = 0.1
+		x := submit(c, p, Request{ID: "followed"})
+		for attempt, o := range []balance.Outcome{balance.ConnectFailed, balance.Reset} {
+			c.Probed(wait(t, p.probed), balance.OK, time.Millisecond, load)
+			c.BranchEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.NoLoad)
+		}
+		wait(t, x.done)
+		c.Recall() // what was told before it is done
+		var lines []string
+		for _, l := range strings.Split(out.String(), "\n") {
+			if strings.Contains(l, `"followed"`) {
+				lines = append(lines, l)
+			}
+		}
+		if level == "info" {
+			if len(lines) > 0 {
+				t.Errorf("with debug lines off: %q", lines)
+			}
+			continue
+		}
+		if len(lines) != 1 || strings.Index(lines[0], "not connected") > strings.Index(lines[0], "reset") ||
+			!strings.Contains(lines[0], `"ended": "refused"`) {
+			t.Errorf("lines of one transaction: %q", lines)
+		}
+	}
+}
+
+// What is off costs nothing.
+func BenchmarkTraceOff(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		t := traced()
+		t.branch("s1")
+		t.word("up")
+		t.end(&Request{}, "ok")
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,7 +62,7 @@
 	Served     End = iota // the next hop said so
 	Moved                 // the caller was asked to come again, by either of us
 	Broken                // the next hop broke it off
-	Silent                // the next hop stopped answering
+	Silent                // the next hop stopped answering, or says what is no line
 	CallerLeft            // the caller ended it
 	HandedOver            // another process goes on with it
 )
@@ -82,7 +82,7 @@
 // must not wait for the transaction.
 type Watcher interface {
 	CallerGone(item decide.Item)                     // while it waited for its answer, or was turned away meanwhile
-	Ended(item decide.Item, outcome balance.Outcome) // after UP; both legs are closed
+	Ended(item decide.Item, outcome balance.Outcome) // after UP; nothing passes any more
 }
 
 // answer is what the deciding side hands to the caller's side.
@@ -159,6 +159,14 @@
 // Fail gives the answer that promises nothing.
 func (t *Transaction) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
 
+// GiveUp answers a caller for whom nobody can find a next hop in the time that is left, as
+// when the node ends, with what promises nothing; the deciding side forgets it.
+func (t *Transaction) GiveUp() {
+	if t.Fail() {
+		t.watch.CallerGone(t)
+	}
+}
+
 // Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -1,7 +1,9 @@
 package exchange
 
+// How lines pass after UP, both ways, until either side ends.
+
 import (
-	"context"
+	"bufio"
 	"errors"
 	"io"
 	"os"
@@ -23,116 +25,8 @@
 	// stall is how long one write may block on a slow reader. Nothing is read
 	// from the other side meanwhile, so memory does not grow.
 	stall = 5 * time.Second
-	// linger is how long a caller that has its last line may take to end.
-	linger = 250 * time.Millisecond
 )
 
-// Run serves the caller leg to its end: the final answer, and after UP the
-// relay. It returns when both legs are closed.
-func (t *Transaction) Run() {
-	done := make(chan struct{})
-	go func() { // ends with the caller leg, which is closed below
-		defer close(done)
-		t.readCaller()
-	}()
-	a, answered := <-t.final
-	switch {
-	case !answered: // the caller has left
-	case a.hop == nil:
-		if t.caller.WriteText(a.line, time.Now().Add(stall)) == nil {
-			if a.busy {
-				t.Figures.Throttled()
-			} else {
-				t.Figures.Faulted()
-			}
-		}
-		t.caller.FinishWrites()
-	default:
-		how := t.relay(a)
-		if how == HandedOver {
-			<-done
-			if how = t.pass(a.hop); how == Moved {
-				done = t.drop() // beside the write, as its caller may be writing too
-				_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
-				t.caller.FinishWrites()
-			}
-		}
-		a.hop.Release()
-		t.watch.Ended(t, how.outcome())
-	}
-	// The reader still runs: it drops what the caller writes, so that the
-	// close does not reset the connection under the last line.
-	t.mu.Lock()
-	t.closing = true
-	_ = t.caller.SetReadDeadline(time.Now().Add(linger))
-	t.mu.Unlock()
-	<-done
-	t.caller.Release()
-}
-
-// drop reads and drops what the caller still writes, until its leg's read deadline.
-func (t *Transaction) drop() (done chan struct{}) {
-	done = make(chan struct{})
-	_ = t.caller.SetReadDeadline(time.Time{})
-	go func() {
-		defer close(done)
-		t.caller.Drain()
-	}()
-	return done
-}
-
-// readCaller notices that the caller leaves and, after UP, passes its lines on.
-func (t *Transaction) readCaller() {
-	switch err := t.await(); {
-	case err == errTooEarly:
-		// It breaks the protocol, and behind what it sent its end would not be
-		// seen: it gets its answer now, unless it has just got one.
-		if t.Fail() {
-			t.watch.CallerGone(t)
-		}
-	case err != nil:
-		t.leave()
-		return
-	}
-	t.mu.Lock()
-	hop := t.hop
-	if !t.closing && t.heir == nil {
-		_ = t.caller.SetReadDeadline(time.Time{})
-	}
-	t.mu.Unlock()
-	if hop == nil || t.forward(hop) {
-		t.leave()
-	}
-	if t.yields() {
-		// What else it sends is the heir's. Only now may the relay stop: a next hop that
-		// is not read any more might not take the line that was on its way to it.
-		hop.Wake()
-		return
-	}
-	// The next hop has ended: the relay sees it too and bounds this read.
-	t.caller.Drain()
-}
-
-// errTooEarly is a caller's that sends more before UP than a buffer holds.
-var errTooEarly = errors.New("too much sent before UP")
-
-// await returns when the caller is answered, or with an error if it has left
-// before or sent too much. Lines that come too early stay in the buffer. They must
-// not hide that their caller leaves, so it looks for more behind them, until Up
-// wakes it.
-func (t *Transaction) await() error {
-	for t.caller.R.Buffered() < leg.Size {
-		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
-		if t.ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return errTooEarly
-}
-
 // forward passes the caller's lines on until either side ends. It tells whether
 // it was the caller.
 func (t *Transaction) forward(hop *leg.Leg) bool {
@@ -247,9 +141,9 @@
 	case yields && errors.Is(err, os.ErrDeadlineExceeded):
 		return HandedOver
 	case moving:
-		how = Moved
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		how = Silent
+		return t.leaveHop(hop, Moved)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull):
+		return t.leaveHop(hop, Silent)
 	case t.rescue():
 		_ = hop.Close()
 		t.caller.FinishWrites()
@@ -260,57 +154,17 @@
 		return t.cut(hop, Broken)
 	}
 	_ = hop.Close()
-	if how == Silent || moving && how == Moved {
-		_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
-	}
 	t.caller.FinishWrites()
 	return how
 }
 
-// begin starts the stream of a caller that can go on where it was: beside the
-// relay, as a token's arbiter may take its time and UP is not held back for it.
-// The function returned waits until nothing writes to the next hop any more.
-func (t *Transaction) begin(a answer) (end func()) {
-	if t.Continuity == nil {
-		return func() {}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if text := t.Begin(ctx, a.line); text != "" && ctx.Err() == nil {
-			_ = a.hop.SetWriteDeadline(time.Now().Add(stall))
-			_, _ = a.hop.Conn.Write([]byte(text + "\r\n")) // if it fails, the relay sees the end too
-		}
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
-}
-
-// moveLine words the move, with the ticket if there is one.
-func (t *Transaction) moveLine() string {
-	text := t.front.Move()
-	if t.Continuity != nil {
-		if ticket := t.Ticket(); ticket != "" {
-			text += " " + ticket
-		}
-	}
-	return text
-}
-
-// withTicket gives the next hop's own move line the ticket.
-func (t *Transaction) withTicket(line []byte) []byte {
-	if t.Continuity == nil {
-		return line
-	}
-	return []byte(t.moveLine() + "\r\n")
-}
-
-// rescue moves a caller whose next hop broke off, if it can go on where it was.
-func (t *Transaction) rescue() bool {
-	return t.Continuity != nil && t.Ticket() != "" && t.caller.WriteText(t.moveLine(), time.Now().Add(stall)) == nil
+// leaveHop moves the caller, and lets the next hop know that nothing more comes. Run reads
+// what that one has still on its way.
+func (t *Transaction) leaveHop(hop *leg.Leg, how End) End {
+	_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
+	t.caller.FinishWrites()
+	hop.FinishWrites()
+	return how
 }
 
 // cut ends the next hop's side at once.
--- a/internal/nexthop/nexthop.go
+++ b/internal/nexthop/nexthop.go
@@ -4,19 +4,13 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"coralrelay/balance"
 	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
 	"coralrelay/internal/roster"
 	"coralrelay/internal/tally"
 )
@@ -186,103 +180,3 @@
 	p := h.get(server)
 	return p == nil || !p.mayTake(now, 0)
 }
-
-// ---- branches ----
-
-// branch is one attempt of a transaction.
-type branch struct {
-	hops     *Hops
-	t        *exchange.Transaction
-	hop      *hop
-	deadline time.Time
-}
-
-// Start starts a branch; it ends with its transaction's context or at the
-// deadline, and is told to the watcher.
-func (h *Hops) Start(item decide.Item, attempt int, server string, deadline time.Time) {
-	t := item.(*exchange.Transaction) // exchange.Decided brings no others here
-	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
-	go func() {
-		begun := time.Now()
-		up, outcome, load := b.run()
-		latency := time.Since(begun)
-		if up {
-			h.watch.BranchUp(t, attempt, server, latency)
-			return
-		}
-		h.watch.BranchEnded(t, attempt, server, outcome, latency, load)
-	}()
-}
-
-// run makes the attempt. Unless it is up, its socket is closed on return.
-func (b *branch) run() (up bool, outcome balance.Outcome, load balance.Load) {
-	if b.hop == nil {
-		return false, balance.ConnectFailed, balance.NoLoad
-	}
-	conn, err := b.hops.dial(b.t.Context(), b.hop.address(), b.deadline)
-	if err != nil {
-		return false, balance.ConnectFailed, balance.NoLoad
-	}
-	l := leg.New(conn)
-	stop := context.AfterFunc(b.t.Context(), func() { _ = conn.Close() })
-	up, outcome, load = b.offer(l, stop)
-	if !up {
-		stop()
-		l.Release()
-	}
-	return up, outcome, load
-}
-
-// offer writes the first line and waits for the answer.
-func (b *branch) offer(l *leg.Leg, stop func() bool) (bool, balance.Outcome, balance.Load) {
-	now := time.Now()
-	// A dial may take longer than a drain leaves: what was told meanwhile
-	// counts, so it is looked at again just before the first byte.
-	if b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
-		return false, balance.ConnectFailed, balance.NoLoad
-	}
-	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
-		return false, balance.ConnectFailed, balance.NoLoad // its last byte was not written
-	}
-	b.t.Figures.Relayed()
-	text, err := l.ReadText(b.deadline)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return false, balance.TimedOut, balance.NoLoad
-	case err != nil:
-		return false, balance.Reset, balance.NoLoad
-	}
-	reply, load := line.ParseReply(text)
-	switch reply {
-	case line.Up:
-		_ = l.SetReadDeadline(time.Time{})
-		if stop() && b.t.Up(string(text), b.hop.id, l) {
-			return true, balance.OK, load
-		}
-		return false, balance.Cancelled, load
-	case line.Busy:
-		return false, balance.Full, load
-	case line.Bye:
-		return false, balance.OK, load
-	case line.Moved:
-		return false, balance.Cancelled, load
-	case line.Malformed:
-		b.hops.bad.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
-	}
-	return false, balance.Errored, load
-}
-
-// dial connects before the deadline, or the limit for connections if that is
-// sooner.
-func (h *Hops) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	connect := h.limits.Load().Connect
-	if most := time.Now().Add(connect); connect > 0 && most.Before(deadline) {
-		deadline = most
-	}
-	return h.Dial(ctx, addr, deadline)
-}
-
-func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
-}
--- a/internal/nexthop/probe.go
+++ b/internal/nexthop/probe.go
@@ -43,8 +43,8 @@
 			return
 		case <-p.probes:
 		}
-		if addr := p.address(); addr != at {
-			closeKept() // whoever answers there is somebody else
+		if addr := p.address(); addr != at || l != nil && !quiet(l) {
+			closeKept() // whoever answers there is somebody else, or nobody any more
 			at = addr
 		}
 		begun := time.Now()
