--- a/balance/place.go
+++ b/balance/place.go
@@ -151,7 +151,7 @@
 	if harmless {
 		var pause time.Duration
 		if b.set.Limits.RetryAfter {
-			pause = b.jitter(b.set.Limits.MaxRetryAfter/2, 0.5)
+			pause = b.jitter(min(b.set.Limits.MaxRetryAfter/2, r.class.Deadline/3), 0.5)
 		}
 		b.do(Refuse{ID: r.ID, Pause: pause})
 	} else {
--- a/balance/place_test.go
+++ b/balance/place_test.go
@@ -211,3 +211,18 @@
 		t.Errorf("120 ms after it may first have run: %v, want a refusal", got)
 	}
 }
+
+// A client waits no longer than its class's deadline in all: the pause that it is asked for
+// leaves it time to come again, whatever the greatest pause of the deployment is.
+func TestPauseLeavesTime(t *testing.T) {
+	set := settings()
+	set.Limits.MaxRetryAfter, set.Classes[0].Deadline = 10*time.Second, 600*ms
+	d := newBench(t, set)
+	d.list(ListFull) // nobody to go to: refused at once
+	for i := range 100 {
+		got := pick[Refuse](d.request(fmt.Sprint("r", i)))
+		if len(got) != 1 || got[0].Pause <= 0 || got[0].Pause > 300*ms {
+			t.Fatalf("refused with %v", got)
+		}
+	}
+}
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -45,7 +45,7 @@
 	if err := run(strings.NewReader(batch("1", `{"cmd":"Init","who":4,"entropy":1,"env":`+bad+`}`)), &out); err != nil {
 		t.Fatal(err)
 	}
-	if !strings.Contains(out.String(), `{"cmd":"Broken","who":4,"words":"settings: rules`) {
+	if !strings.Contains(out.String(), `{"cmd":"Broken","who":4,"words":"settings.guarantees.drainGrace: -1`) {
 		t.Errorf("bad settings: %s", out.String())
 	}
 }
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,72 @@
+package config
+
+// What no node can serve by.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"coralrelay/balance"
+)
+
+// checkSettings names the first of the settings that a node can't serve by.
+func checkSettings(raw json.RawMessage, s *balance.Settings) error {
+	// As they were written: beyond some size they are no durations any more.
+	var given struct {
+		Classes []struct {
+			Deadline float64 `json:"deadline"`
+		} `json:"classes"`
+		Limits struct {
+			MostTries *float64 `json:"mostTries"`
+		} `json:"limits"`
+	}
+	if err := json.Unmarshal(raw, &given); err != nil {
+		return fmt.Errorf("limits: %w", err)
+	}
+	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > mostTries) {
+		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, mostTries)
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("classes: missing")
+	}
+	names := map[string]bool{}
+	for i, class := range s.Classes {
+		at := fmt.Sprintf("classes[%d]", i)
+		switch {
+		case class.Name == "":
+			return fmt.Errorf("%s.name: missing", at)
+		case names[class.Name]:
+			return fmt.Errorf("%s.name: %q stands there twice", at, class.Name)
+		case class.Deadline <= 0 || given.Classes[i].Deadline > longestDeadline:
+			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, longestDeadline)
+		}
+		names[class.Name] = true
+	}
+	if err := s.Check(); err != nil {
+		return fmt.Errorf("check: %w", err)
+	}
+	return nil
+}
+
+func (f *file) limits() (Limits, error) {
+	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
+	if v := f.Limits.Cores; v != nil {
+		l.Cores = *v
+	}
+	if v := f.Limits.MemoryMB; v != nil {
+		l.MemoryMB = *v
+	}
+	if v := f.Limits.Sockets; v != nil {
+		l.Sockets = *v
+	}
+	switch {
+	case l.Cores <= 0:
+		return l, fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
+	case l.MemoryMB < leastMemoryMB:
+		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, leastMemoryMB)
+	case l.Sockets < leastSockets:
+		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	}
+	return l, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,12 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"os"
-	"slices"
 	"strconv"
-	"strings"
 
 	"coralrelay/balance"
 	"coralrelay/internal/roster"
@@ -113,88 +110,6 @@
 	return c, nil
 }
 
-// Reload reads the file again for a node that runs as c tells. Of what it holds the
-// discovery's address and the settings change while the node runs, and there the
-// file counts: the environment still has the address of the start. All of the file is
-// taken or none of it: what it may not hold, and what it lacks of the keys that the
-// file in force has, is an error, and c stays as it is. fixed names the keys that
-// would need a restart.
-func (c Config) Reload(getenv func(string) string) (next Config, fixed []string, err error) {
-	next, err = Load(func(name string) string {
-		if name == discoveryVariable {
-			return ""
-		}
-		return getenv(name)
-	})
-	if err != nil {
-		return c, nil, err
-	}
-	if key := lacks(c.keys, next.keys, ""); key != "" {
-		return c, nil, fmt.Errorf("%s: missing", key)
-	}
-	for key, same := range map[string]bool{
-		"name": next.Name == c.Name, "listen": next.Listen == c.Listen, "seed": next.Seed == c.Seed,
-		"limits": next.Limits == c.Limits, "mgmt": next.Mgmt == c.Mgmt,
-	} {
-		if !same {
-			fixed = append(fixed, key)
-		}
-	}
-	slices.Sort(fixed)
-	c.Discovery, c.Settings, c.keys = next.Discovery, next.Settings, next.keys
-	return c, fixed, nil
-}
-
-// lacks names the first key of old's that next has not. What all of a list's entries
-// have, each of the new list's must have.
-func lacks(old, next any, path string) string {
-	switch old := old.(type) {
-	case map[string]any:
-		next, _ := next.(map[string]any)
-		for _, key := range slices.Sorted(maps.Keys(old)) {
-			at := strings.TrimPrefix(path+"."+key, ".")
-			if old[key] == nil {
-				continue
-			}
-			if next[key] == nil {
-				return at
-			}
-			if missing := lacks(old[key], next[key], at); missing != "" {
-				return missing
-			}
-		}
-	case []any:
-		next, ok := next.([]any)
-		if !ok {
-			return path
-		}
-		common := shared(old)
-		for i, entry := range next {
-			if missing := lacks(common, entry, fmt.Sprintf("%s[%d]", path, i)); missing != "" {
-				return missing
-			}
-		}
-	}
-	return ""
-}
-
-// shared is what all entries of a list have; nil if they are no objects.
-func shared(entries []any) any {
-	if len(entries) == 0 {
-		return nil
-	}
-	first, ok := entries[0].(map[string]any)
-	if !ok {
-		return nil
-	}
-	common := maps.Clone(first)
-	for _, e := range entries[1:] {
-		e, _ := e.(map[string]any)
-		maps.DeleteFunc(common, func(key string, _ any) bool { return e[key] == nil })
-	}
-	return common
-}
-
 func (f *file) config(getenv func(string) string) (Config, error) {
 	c := Config{Name: first(getenv("BALANCER_NAME"), f.Name)}
 	var err error
@@ -229,7 +144,7 @@
 		return c, errors.New("settings: missing")
 	}
 	if c.Settings, err = settings.Decode(f.Settings); err != nil {
-		return c, fmt.Errorf("settings: %w", err)
+		return c, err
 	}
 	if err := checkSettings(f.Settings, &c.Settings); err != nil {
 		return c, fmt.Errorf("settings.%w", err)
@@ -237,67 +152,6 @@
 	return c, nil
 }
 
-// checkSettings names the first of the settings that a node can't serve by.
-func checkSettings(raw json.RawMessage, s *balance.Settings) error {
-	// As they were written: beyond some size they are no durations any more.
-	var given struct {
-		Classes []struct {
-			Deadline float64 `json:"deadline"`
-		} `json:"classes"`
-		Limits struct {
-			MostTries *float64 `json:"mostTries"`
-		} `json:"limits"`
-	}
-	if err := json.Unmarshal(raw, &given); err != nil {
-		return fmt.Errorf("limits: %w", err)
-	}
-	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > mostTries) {
-		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, mostTries)
-	}
-	if len(s.Classes) == 0 {
-		return errors.New("classes: missing")
-	}
-	names := map[string]bool{}
-	for i, class := range s.Classes {
-		at := fmt.Sprintf("classes[%d]", i)
-		switch {
-		case class.Name == "":
-			return fmt.Errorf("%s.name: missing", at)
-		case names[class.Name]:
-			return fmt.Errorf("%s.name: %q stands there twice", at, class.Name)
-		case class.Deadline <= 0 || given.Classes[i].Deadline > longestDeadline:
-			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, longestDeadline)
-		}
-		names[class.Name] = true
-	}
-	if err := s.Check(); err != nil {
-		return fmt.Errorf("check: %w", err)
-	}
-	return nil
-}
-
-func (f *file) limits() (Limits, error) {
-	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
-	if v := f.Limits.Cores; v != nil {
-		l.Cores = *v
-	}
-	if v := f.Limits.MemoryMB; v != nil {
-		l.MemoryMB = *v
-	}
-	if v := f.Limits.Sockets; v != nil {
-		l.Sockets = *v
-	}
-	switch {
-	case l.Cores <= 0:
-		return l, fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
-	case l.MemoryMB < leastMemoryMB:
-		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, leastMemoryMB)
-	case l.Sockets < leastSockets:
-		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
-	}
-	return l, nil
-}
-
 func address(key, variable, inFile string, getenv func(string) string) (string, error) {
 	addr := inFile
 	if v := getenv(variable); v != "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,9 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"coralrelay/balance"
@@ -60,11 +62,50 @@
 	"": balance.ScopeAll, "all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
 }
 
-// Decode reads a settings object.
+// longest is the most that a time may be, in seconds, some three years: far beyond it a
+// duration overflows, and what was to be endless is 0.
+const longest = 1e8
+
+// check names the first key that holds what no site can mean. What is missing is another
+// matter: it is 0, which turns off what it is for.
+func (e *env) check() error {
+	g, l := &e.Guarantees, &e.Limits
+	times := map[string]float64{"granularity": e.Granularity, "guarantees.askWithin": g.AskWithin,
+		"guarantees.drainGrace": g.DrainGrace, "guarantees.graceToAnswer": g.GraceToAnswer,
+		"guarantees.rampTime": g.RampTime, "guarantees.tipAfter": g.TipAfter,
+		"limits.connectTimeout": l.ConnectTimeout, "limits.maxRetryAfter": l.MaxRetryAfter}
+	for i, c := range e.Classes {
+		at := fmt.Sprintf("classes[%d].", i)
+		times[at+"objective"], times[at+"deadline"], times[at+"window"] = c.Objective, c.Deadline, c.Window
+		if 2*e.Granularity >= c.Deadline && c.Deadline > 0 { // an answer has to be out two of them before
+			return fmt.Errorf("granularity: %v leaves no time of %sdeadline %v", e.Granularity, at, c.Deadline)
+		}
+	}
+	for i, aim := range e.Domain.MessageAim {
+		times[fmt.Sprintf("domain.messageAim[%d]", i)] = aim
+	}
+	for _, key := range slices.Sorted(maps.Keys(times)) {
+		if t := times[key]; t < 0 || t > longest {
+			return fmt.Errorf("%s: %v is not within 0 to %v", key, t, longest)
+		}
+	}
+	switch { // 0 is none: no such rule, a ramp without a budget
+	case g.TipMultiple < 0 || g.TipMultiple > 1e6:
+		return fmt.Errorf("guarantees.tipMultiple: %v is not within 0 to 1e6", g.TipMultiple)
+	case e.NInstances < 0:
+		return fmt.Errorf("nInstances: %d is under 0", e.NInstances)
+	}
+	return nil
+}
+
+// Decode reads a settings object. Errors name the key at fault.
 func Decode(raw json.RawMessage) (balance.Settings, error) {
 	var e env
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return balance.Settings{}, fmt.Errorf("env: %w", err)
+		return balance.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	if err := e.check(); err != nil {
+		return balance.Settings{}, fmt.Errorf("settings.%w", err)
 	}
 	g, l := e.Guarantees, e.Limits
 	s := balance.Settings{
@@ -82,11 +123,11 @@
 	for i, c := range e.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
-			return s, fmt.Errorf("env: class %q: unknown effect %q", c.Name, c.Effect)
+			return s, fmt.Errorf("settings.classes[%d].effect: %q is unknown", i, c.Effect)
 		}
 		scope, ok := scopes[c.Group]
 		if !ok {
-			return s, fmt.Errorf("env: class %q: unknown group %q", c.Name, c.Group)
+			return s, fmt.Errorf("settings.classes[%d].group: %q is unknown", i, c.Group)
 		}
 		class := balance.Class{Name: c.Name, Aim: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
 			Effect: effect, Scope: scope, Window: Seconds(c.Window)}
@@ -107,8 +148,9 @@
 // not asked for. A pushed one is asked for from the first moment on; where the settings name
 // no time within which, what a silent watch has missed counts as told after toldAfter.
 func Watched(s balance.Settings) balance.Settings {
+	s.AskWithin = cmp.Or(s.AskWithin, toldAfter)
 	if !s.ListAsked {
-		s.ListAsked, s.AskNow, s.AskWithin = true, true, cmp.Or(s.AskWithin, toldAfter)
+		s.ListAsked, s.AskNow = true, true
 	}
 	return s
 }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// with is a sound settings object in which one key holds something else.
+func with(t *testing.T, key string, value any) json.RawMessage {
+	t.Helper()
+	var s map[string]any
+	if err := json.Unmarshal([]byte(`{"classes":[{"name":"a","objective":0.3,"deadline":2,"effect":"idempotency_key","window":5}],
+		"domain":{"messageAim":[0.06]},"granularity":0.004,"nInstances":3,"guarantees":{"askWithin":10,"coldFrom":0.2,
+		"drainGrace":0.3,"graceToAnswer":0.016,"rampTime":20,"tipAfter":1.5,"tipMultiple":3},
+		"limits":{"connectTimeout":0.25,"maxRetryAfter":1,"mostTries":6}}`), &s); err != nil {
+		t.Fatal(err)
+	}
+	at := s
+	words := strings.Split(key, ".")
+	for _, w := range words[:len(words)-1] {
+		switch next := at[w].(type) {
+		case map[string]any:
+			at = next
+		case []any:
+			at = next[0].(map[string]any)
+		}
+	}
+	at[words[len(words)-1]] = value
+	raw, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// A value that no site can mean is refused, and the error names its key: a negative time
+// took a bound away, and one of 1e13 s overflowed to none at all.
+func TestRefused(t *testing.T) {
+	times := []string{"granularity", "guarantees.askWithin", "guarantees.drainGrace", "guarantees.graceToAnswer", "guarantees.rampTime",
+		"guarantees.tipAfter", "limits.connectTimeout", "limits.maxRetryAfter", "classes.objective", "classes.window"}
+	for _, key := range times {
+		for _, value := range []any{-1, 1e13, 1e300, "soon"} {
+			_, err := Decode(with(t, key, value))
+			if last := key[strings.LastIndex(key, ".")+1:]; err == nil || !strings.HasPrefix(err.Error(), "settings") || !strings.Contains(err.Error(), last) {
+				t.Errorf("%s: %v: %v", key, value, err)
+			}
+		}
+		if _, err := Decode(with(t, key, 0)); err != nil { // 0 turns off what it is for
+			t.Errorf("%s: 0: %v", key, err)
+		}
+	}
+	for key, value := range map[string]any{"granularity": 1, "guarantees.tipMultiple": -3, "nInstances": -1, "classes.effect": "any",
+		"classes.group": "rack", "domain.messageAim": []float64{-1}} {
+		if _, err := Decode(with(t, key, value)); err == nil || !strings.Contains(err.Error(), key[strings.LastIndex(key, ".")+1:]) {
+			t.Errorf("%s: %v: %v", key, value, err)
+		}
+	}
+}
+
+// What is unknown is passed over, keys and the words of those whose absence is harmless.
+func TestPassedOver(t *testing.T) {
+	for key, value := range map[string]any{"colour": "red", "registryMode": "by_pigeon", "report": map[string]any{"via": "smoke"}} {
+		if _, err := Decode(with(t, key, value)); err != nil {
+			t.Errorf("%s: %v: %v", key, value, err)
+		}
+	}
+}
+
+// A node that was told no time within which to ask goes by the protocol's: with none its
+// back-off was none.
+func TestWatched(t *testing.T) {
+	for mode, now := range map[string]bool{"on_request": false, "pushed": true} {
+		for _, within := range []float64{0, 10} {
+			s, err := Decode(with(t, "guarantees.askWithin", within))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.ListAsked = mode == "on_request"
+			want := 10 * time.Second
+			if within == 0 {
+				want = toldAfter
+			}
+			if got := Watched(s); !got.ListAsked || got.AskNow != now || got.AskWithin != want {
+				t.Error(fmt.Sprint(mode, " ", within), got.ListAsked, got.AskNow, got.AskWithin)
+			}
+		}
+	}
+}
