--- /dev/null
+++ b/internal/rules/scene_client_test.go
@@ -0,0 +1,113 @@
+package rules_test
+
+// The clients of a scene.
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/rules"
+)
+
+// classes are of every kind of effect. What may be repeated may be so for a short while,
+// which ends while an attempt is out, or is being made.
+var classes = []balance.Class{
+	{Name: "feed"},
+	{Name: "once", Effect: balance.Unsafe},
+	{Name: "keyed", Effect: balance.Keyed, Window: 80 * ms},
+	{Name: "zoned", Effect: balance.Keyed, Scope: balance.ScopeZone, Window: 200 * ms},
+	{Name: "celled", Effect: balance.Keyed, Scope: balance.ScopeCell, Window: 200 * ms},
+}
+
+// repeats is what the book has to know of a class.
+func (s *scene) repeats(c balance.Class) rules.Repeats {
+	r := rules.Repeats{Never: c.Effect == balance.Unsafe}
+	if c.Effect != balance.Keyed {
+		return r
+	}
+	r.Within = c.Window
+	switch c.Scope { // where a server is never changes
+	case balance.ScopeZone:
+		r.Same = func(ran, to string) bool { return s.feeds[ran].entry.Zone == s.feeds[to].entry.Zone }
+	case balance.ScopeCell:
+		r.Same = func(ran, to string) bool { return s.feeds[ran].entry.Cell == s.feeds[to].entry.Cell }
+	}
+	return r
+}
+
+// client is one request, as its client sees it.
+func (s *scene) client(leaves bool) {
+	s.mu.Lock()
+	s.ids++
+	id := fmt.Sprint("r", s.ids)
+	class := classes[0]
+	if s.rng.IntN(2) == 0 {
+		class = classes[1+s.rng.IntN(len(classes)-1)]
+	}
+	s.mu.Unlock()
+	wait := 200*ms + s.upTo(800*ms)
+	near, far := net.Pipe()
+	defer far.Close()
+	s.note(func(b *rules.Book, now time.Duration) { b.Asked(now, id, now+wait, s.repeats(class)) })
+	s.front <- &handle{Conn: near}
+	if _, err := fmt.Fprintf(far, "OPEN %s k c=%s,d=%d\r\n", id, class.Name, wait.Milliseconds()); err != nil {
+		s.t.Errorf("%s: %v", id, err)
+	}
+	if leaves {
+		gone := time.AfterFunc(s.upTo(100*ms), func() {
+			s.note(func(b *rules.Book, now time.Duration) { b.Left(now, id) })
+			far.Close()
+		})
+		defer gone.Stop()
+	}
+	standing := false
+	defer func() {
+		s.mu.Lock()
+		delete(s.up, id)
+		s.mu.Unlock()
+	}()
+	for lines := bufio.NewScanner(far); lines.Scan(); {
+		switch word, _, _ := strings.Cut(lines.Text(), " "); {
+		case standing:
+			if lines.Text() == "MOVE" || lines.Text() == "BYE" {
+				return // pipes can't be half closed, so it need not wait for the end
+			}
+			if lines.Text() == "yes" {
+				time.Sleep(300 * ms)
+				s.say(far)
+			}
+		case word == "UP":
+			standing = true
+			s.mu.Lock()
+			s.up[id] = time.Now()
+			s.mu.Unlock()
+			s.answered(id, class.Name, "served", rules.Served)
+			s.say(far)
+		case word == "BUSY":
+			s.answered(id, class.Name, "refused", rules.Refused)
+		default:
+			s.answered(id, class.Name, "failed", rules.Failed)
+		}
+	}
+}
+
+// say writes a client's line. It is read to meanwhile, as sockets have buffers and pipes
+// have not.
+func (s *scene) say(far net.Conn) {
+	s.ends.Go(func() {
+		_ = far.SetWriteDeadline(time.Now().Add(time.Second))
+		fmt.Fprintf(far, "are you there\r\n")
+	})
+}
+
+func (s *scene) answered(id, class, how string, a rules.Answer) {
+	s.note(func(b *rules.Book, now time.Duration) {
+		b.Answered(now, id, a)
+		s.over[how]++
+		s.byClass[class+how]++
+	})
+}
--- /dev/null
+++ b/internal/rules/scene_feed_test.go
@@ -0,0 +1,167 @@
+package rules_test
+
+// The feed servers of a scene.
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"coralrelay/internal/roster"
+	"coralrelay/internal/rules"
+)
+
+// feed is a feed server as the scene has it.
+type feed struct {
+	id    string
+	conns map[net.Conn]bool // that stand
+	entry roster.Entry
+}
+
+// attempt is the node's end of a connection to a feed server. An attempt is out until
+// its server has answered or the node has closed it.
+type attempt struct {
+	net.Conn
+	s    *scene
+	id   string // under the lock; empty until its first line has come, or if it probes
+	done bool
+}
+
+// over notes the attempt's end, once.
+func (a *attempt) over(how rules.End) {
+	a.s.note(func(b *rules.Book, now time.Duration) {
+		if a.id != "" && !a.done {
+			a.done = true
+			b.Ended(now, a.id, how)
+		}
+	})
+}
+
+func (a *attempt) Close() error {
+	a.over(rules.NoReply)
+	return a.Conn.Close()
+}
+
+var errRefused = errors.New("connection refused")
+
+func (s *scene) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	switch {
+	case !s.kind.full() && s.chance(0.06):
+		return nil, errRefused
+	case s.kind == hanging && s.chance(0.05): // nothing comes back
+		late := time.NewTimer(time.Until(deadline))
+		defer late.Stop()
+		select {
+		case <-ctx.Done():
+		case <-late.C:
+		}
+		return nil, context.DeadlineExceeded
+	case s.kind == late && s.chance(0.4):
+		up := s.upTo(connect - ms)
+		late := time.NewTimer(min(up, time.Until(deadline)))
+		defer late.Stop()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-late.C:
+		}
+		if !time.Now().Before(deadline) {
+			return nil, context.DeadlineExceeded
+		}
+	}
+	server, _, _ := strings.Cut(addr, ":")
+	near, far := net.Pipe()
+	a := &attempt{Conn: near, s: s}
+	s.ends.Go(func() { s.serve(server, far, a) })
+	return &handle{Conn: a}, nil
+}
+
+// serve is a feed server's side of one connection.
+func (s *scene) serve(server string, conn net.Conn, a *attempt) {
+	defer conn.Close()
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		text := lines.Text()
+		switch word, rest, _ := strings.Cut(text, " "); word {
+		case "STATS":
+			if !s.report(server, conn) {
+				return
+			}
+		case "OPEN":
+			id, _, _ := strings.Cut(rest, " ")
+			s.note(func(b *rules.Book, now time.Duration) {
+				a.id = id
+				s.sent++
+				b.Sent(now, id, server)
+			})
+			if !s.open(server, conn, a) {
+				return
+			}
+		default:
+			fmt.Fprintf(conn, "yes\r\n")
+		}
+	}
+}
+
+// report answers a probe, now and then late, never, or with what can't be true.
+func (s *scene) report(server string, conn net.Conn) bool {
+	s.mu.Lock()
+	conns := len(s.feeds[server].conns)
+	s.mu.Unlock()
+	x0 := fmt.Sprint(float64(conns) / s.room)
+	switch {
+	case s.chance(0.05):
+		time.Sleep(600 * ms)
+	case s.chance(0.05):
+		return false
+	case s.chance(0.05):
+		x0 = "18446744073709551615"
+	}
+	time.Sleep(s.upTo(4 * ms))
+	_, err := fmt.Fprintf(conn, "PONG outstanding=%d,x0=%s,recent_ms=2\r\n", conns, x0)
+	return err == nil
+}
+
+// open answers a first line, and serves what then stands. It is false at its end.
+func (s *scene) open(server string, conn net.Conn, a *attempt) bool {
+	time.Sleep(s.upTo(60 * ms))
+	switch {
+	case s.kind.full(): // all that it is sent, which is the point
+	case s.chance(0.12):
+		a.over(rules.NotRun)
+		fmt.Fprintf(conn, "BUSY\r\n")
+		return false
+	case s.chance(0.06), s.kind == late && s.chance(0.2):
+		a.over(rules.MayRun)
+		fmt.Fprintf(conn, "ERR\r\n")
+		return false
+	case s.chance(0.05):
+		a.over(rules.NoReply)
+		return false
+	case s.chance(0.05): // hangs until the node has enough of it
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	}
+	if _, err := fmt.Fprintf(conn, "UP r1\r\n"); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.feeds[server].conns[conn] = true
+	s.mu.Unlock()
+	lasts := ms + s.upTo(2*life) // its client has noted the answer by then
+	s.ends.Go(func() {           // its end, unless the other side's comes before
+		time.Sleep(lasts)
+		if s.chance(0.5) {
+			_ = conn.SetWriteDeadline(time.Now().Add(ms))
+			fmt.Fprintf(conn, "BYE\r\n")
+		}
+		conn.Close()
+		s.mu.Lock()
+		delete(s.feeds[server].conns, conn)
+		s.mu.Unlock()
+	})
+	return true
+}
--- /dev/null
+++ b/internal/rules/scene_node_test.go
@@ -0,0 +1,186 @@
+package rules_test
+
+// The processes of a scene, and how one takes over from another.
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/caller"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/nexthop"
+	"coralrelay/internal/roster"
+)
+
+// node is one process.
+type node struct {
+	core   *decide.Core
+	hops   *nexthop.Hops
+	server *caller.Server
+	door   listener
+	cancel context.CancelFunc
+	parts  sync.WaitGroup
+}
+
+// start starts a process, which is told what the last one was.
+func (s *scene) start(list ...roster.Entry) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
+	n.hops = nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+	n.hops.Dial = s.dial
+	var lists decide.Roster = noRoster{}
+	watch := roster.New("discovery:1", sink{s, n})
+	watch.Dial = s.board.dial
+	if s.kind == silent {
+		lists = watch
+	}
+	core, err := decide.New(decide.NewClock(), uint64(s.upTo(time.Hour)), s.set, n.hops, lists)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	n.core = core
+	n.hops.Watch(core)
+	n.server = caller.New(core, n.hops, caller.Limits{Sockets: 1000})
+	n.server.Figures = s.count
+	n.parts.Go(func() { core.Run(ctx) })
+	if s.kind == silent {
+		n.parts.Go(func() { watch.Run(ctx, roster.Update{}) })
+	} else {
+		n.tell(balance.ListFull, list)
+	}
+	s.mu.Lock()
+	s.nodes = append(s.nodes, n)
+	s.mu.Unlock()
+	n.parts.Go(func() { _ = n.server.Serve(n.door) })
+	return n
+}
+
+func (n *node) tell(kind balance.ListKind, entries []roster.Entry) {
+	u := roster.Update{Kind: kind, Entries: entries}
+	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
+	n.core.Listed(u.List())
+}
+
+// end lets a process end: at once, or as one that is replaced.
+func (s *scene) end(n *node, heir exchange.Heir) {
+	if heir == nil {
+		_ = n.door.Close()
+	} else {
+		now := time.Now()
+		end := now.Add(1400 * ms)
+		n.server.Drain(caller.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
+		if took := time.Since(now); took > 1400*ms {
+			s.t.Errorf("it took %v to leave", took)
+		}
+		if left := n.server.Open(); left > 0 {
+			s.t.Errorf("%d connections were not answered, handed over or moved", left)
+		}
+	}
+	n.server.Close()
+	s.mu.Lock()
+	s.nodes = slices.DeleteFunc(s.nodes, func(o *node) bool { return o == n })
+	s.mu.Unlock()
+	n.cancel()
+	n.parts.Wait()
+}
+
+// replace has a successor take over from the node, which takes its time to end.
+func (s *scene) replace() {
+	s.mu.Lock()
+	var list []roster.Entry
+	for _, f := range s.feeds {
+		list = append(list, f.entry)
+	}
+	s.mu.Unlock()
+	old := s.node
+	s.two.Store(true)
+	s.set.Processes = 2
+	s.node = s.start(list...)
+	next := s.node
+	old.core.Retune(s.set)
+	s.ended.Go(func() {
+		defer func() {
+			set := s.set
+			set.Processes = 1
+			next.core.Retune(set)
+			s.two.Store(false)
+		}()
+		if s.kind == beside {
+			time.Sleep(s.upTo(2 * time.Second))
+		}
+		_ = old.door.Close()
+		next.core.Learn(old.core.Recall())
+		s.end(old, heir{s, next.server})
+	})
+}
+
+// heir is the successor, as its socket would have it. Now and then it takes nothing.
+type heir struct {
+	s  *scene
+	to *caller.Server
+}
+
+func (h heir) Take(st exchange.Standing, c, hop net.Conn) bool {
+	if h.s.chance(0.1) {
+		return false
+	}
+	st.FromCaller, st.FromHop = bytes.Clone(st.FromCaller), bytes.Clone(st.FromHop) // as the wire does
+	a, b := c.(*handle), hop.(*handle)
+	a.given.Store(true)
+	b.given.Store(true)
+	if h.to.Adopt(st, &handle{Conn: a.Conn}, &handle{Conn: b.Conn}) {
+		return true
+	}
+	a.given.Store(false)
+	b.given.Store(false)
+	return false
+}
+
+// handle is a process's own copy of a connection: once another process has one too,
+// closing this one ends nothing.
+type handle struct {
+	net.Conn
+	given atomic.Bool
+}
+
+func (h *handle) Close() error {
+	if h.given.Load() {
+		return nil
+	}
+	return h.Conn.Close()
+}
+
+func (h *handle) SetReadDeadline(t time.Time) error {
+	if h.given.Load() {
+		return nil
+	}
+	return h.Conn.SetReadDeadline(t)
+}
+
+// listener hands the node what clients dial.
+type listener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+func (l listener) Close() error { close(l.done); return nil }
+func (listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+type noRoster struct{}
+
+func (noRoster) Subscribe() {}
