--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -19,6 +19,8 @@
 	udp   udp.Fronts    // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
 	once  sync.Once
+	// listed is told how many next hops are listed, before any of them is asked for.
+	listed func(n int)
 }
 
 func (f *fleet) Listed(u roster.Update) {
@@ -31,6 +33,7 @@
 	}
 	if u.Kind != balance.ListFailed {
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
+		f.listed(f.hops.Listed())
 	}
 	f.core.Listed(u.List())
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -38,8 +38,8 @@
 	// Caught from the first moment on: unhandled, either would end the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
-	terminate, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	// Never given back: another one in the last moment would cut the end in good order short.
+	terminate, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	logs.Set(os.Stderr, false)
 	if err := command(os.Args[1:], os.Stdout, func(file string) error { return start(terminate, hangUps, file) }); err != nil {
 		slog.Error("coralrelay", "err", err)
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"coralrelay/balance"
@@ -43,50 +42,6 @@
 	noEnd = 100 * 365 * 24 * time.Hour
 )
 
-// clientsListener opens the clients' listener, or takes the one that the platform holds.
-func clientsListener(c config.Config) (net.Listener, error) {
-	if c.Inherited == 0 {
-		l, err := net.Listen("tcp", c.Listen)
-		if err != nil {
-			return nil, fmt.Errorf("listen: %w", err)
-		}
-		return l, nil
-	}
-	syscall.CloseOnExec(c.Inherited)
-	file := os.NewFile(uintptr(c.Inherited), "inherited")
-	if file == nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", c.Inherited)
-	}
-	defer file.Close() // the listener has a copy of its own
-	l, err := net.FileListener(file)
-	if err != nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", c.Inherited, err)
-	}
-	if !listens(l) {
-		_ = l.Close()
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", c.Inherited)
-	}
-	return l, nil
-}
-
-// listens tells whether l takes TCP connections. A connected socket passes for a
-// listener until its first Accept.
-func listens(l net.Listener) (yes bool) {
-	tcp, ok := l.(*net.TCPListener)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	_ = raw.Control(func(fd uintptr) {
-		v, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-		yes = err == nil && v == 1
-	})
-	return yes
-}
-
 // takePlace takes this process's place beside another, where there may be one; else
 // it returns nil. What the other holds and can't hand over ends the start, and not the
 // other.
@@ -159,14 +114,21 @@
 	}
 }
 
-// awaitList waits until discovery has said who is there, but not for long.
-func awaitList(terminate context.Context, known <-chan struct{}) {
-	late := time.NewTimer(listWithin)
+// awaitList waits until discovery has said who is there, but not for long, and no longer
+// than there is another process that serves.
+func awaitList(terminate context.Context, known <-chan struct{}, other func() bool) {
+	late, look := time.NewTimer(listWithin), time.NewTicker(looksBeside)
 	defer late.Stop()
-	select {
-	case <-known:
-	case <-late.C:
-	case <-terminate.Done():
+	defer look.Stop()
+	for other() {
+		select {
+		case <-look.C:
+			continue
+		case <-known:
+		case <-late.C:
+		case <-terminate.Done():
+		}
+		return
 	}
 }
 
--- /dev/null
+++ b/cmd/coralrelay/outlives_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bufio"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// No goroutine of the callers' side or of a part that serve starts outlives its end,
+// whatever callers and next hops were doing.
+func TestNothingOutlivesTheEnd(t *testing.T) {
+	var got atomic.Int32
+	mute, asked := make(chan struct{}), make(chan struct{}, 64)
+	addr, terminate, done := node(t, listen(t, func(conn net.Conn) {
+		select {
+		case <-mute:
+			for lines := bufio.NewScanner(conn); lines.Scan(); { // takes all and answers nothing
+				if strings.HasPrefix(lines.Text(), "OPEN") {
+					asked <- struct{}{}
+				}
+			}
+		default:
+			nextHop(&got)(conn)
+		}
+	}), 1024)
+	stands := call(t, addr, open("a"))
+	if s := stands.line(); s != "UP r1" {
+		t.Fatal(s)
+	}
+	close(mute)
+	parties := []*client{stands, call(t, addr, ""), call(t, addr, "OPEN b k1 c=fe"), call(t, addr, "OPEN c k1 c=feed,d=40000,at=s1\r\n")}
+	<-asked
+	call(t, addr, "HELLO\r\n") // is read out, and stays
+	terminate()
+	for i, want := range []string{"MOVE\r\n", "BUSY 500\r\n", "BUSY 500\r\n", "ERR\r\n"} {
+		if s := parties[i].rest(); s != want {
+			t.Errorf("party %d: %q, want %q", i, s, want)
+		}
+		parties[i].Close()
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	all := make([]byte, 1<<20)
+	all = all[:runtime.Stack(all, true)]
+	for _, stack := range strings.Split(string(all), "\n\n")[1:] {
+		_, creator, _ := strings.Cut(stack, "created by coralrelay/")
+		for _, part := range []string{"internal/caller.", "internal/exchange.", "internal/decide.", "internal/roster.",
+			"internal/mgmt.", "cmd/coralrelay.serve"} {
+			if strings.HasPrefix(creator, part) {
+				t.Errorf("still there:\n%s", stack)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/coralrelay/plan_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"testing"
+	"time"
+)
+
+// Who is moved comes again through the front, which sends him here for as long as it does
+// not know: where deadlines are short the first were moved before that.
+func TestPlanOfARestart(t *testing.T) {
+	const ms = time.Millisecond
+	begun := time.Unix(1, 0)
+	for longest, from := range map[time.Duration]time.Duration{300 * ms: 400 * ms, 400 * ms: 400 * ms, 1800 * ms: 900 * ms, longestDrain: 1500 * ms} {
+		p := ending(begun, longest)
+		if got := p.From.Sub(begun); got != from || p.Refuse != begun {
+			t.Errorf("%v: moves begin after %v, want %v", longest, got, from)
+		}
+		if p.Until.Before(p.From) || !p.Until.Before(p.End) || p.End.Sub(begun) > longest+700*ms {
+			t.Errorf("%v: moves until %v, the end after %v", longest, p.Until.Sub(begun), p.End.Sub(begun))
+		}
+	}
+}
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -26,11 +26,6 @@
 )
 
 const (
-	// spareSockets are kept for the listener, discovery, probes and callers
-	// that are given a busy answer.
-	spareSockets = 128
-	// leastSockets are the line path's, whatever is taken for others.
-	leastSockets = 64
 	// probeWait is how long a probe may take: longer than a busy next hop
 	// needs, shorter than the module waits before it asks again.
 	probeWait = 500 * time.Millisecond
@@ -41,6 +36,9 @@
 	// deadline, at most longestDrain, and 0.7 s. What stays of that is room.
 	longestDrain = 3 * time.Second
 	afterDrain   = 400 * time.Millisecond
+	// arriving is how long the front still sends callers here after a restart has begun, those
+	// too who are moved.
+	arriving = 400 * time.Millisecond
 )
 
 // serve runs the node until terminate ends, and then lets it end in good order.
@@ -57,8 +55,8 @@
 	if err != nil {
 		return err
 	}
+	defer listener.Close() // whatever keeps the node from starting
 	if place, err = takePlace(c, listener, own); err != nil {
-		_ = listener.Close()
 		return err
 	}
 	c.Settings = platform.Watched(c.Settings)
@@ -76,26 +74,21 @@
 	if lists.udp, err = startUDP(ctx, &parts, c, own.UDP, core, hops); err != nil {
 		return err
 	}
-	sockets := c.Limits.Sockets
-	if lists.udp != nil {
-		sockets = max(sockets-own.UDP.Sockets, leastSockets)
-	}
-	spare := min(spareSockets, sockets/4)
-	if c.Mgmt != "" {
-		spare = max(spare, besideSockets) // operators are answered however many callers there are
-	}
-	limits := caller.Limits{Sockets: sockets - spare, Pause: pause(c.Settings.Limits)}
+	room := shareOut(c, own, place)
+	limits := caller.Limits{Sockets: room.callers(len(c.Known.Entries)), Pause: pause(c.Settings.Limits)}
 	other := &neighbour{place: place}
 	if place != nil {
 		limits.Elsewhere = other.elsewhere
 	}
 	server := caller.New(core, hops, limits)
+	lists.listed = func(n int) { server.Limit(room.callers(n)) }
 	book := &figures.Book{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
 	server.Figures = book
 	if place != nil {
-		parts.Go(func() { other.watch(ctx, c.Limits, server.Sockets, inForce.beside) })
+		used := func() int { return server.Sockets() + hops.Listed() }
+		parts.Go(func() { other.watch(ctx, c.Limits, used, inForce.beside) })
 	}
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
 	if err != nil {
@@ -122,13 +115,23 @@
 		}
 	}
 	if place.Lives() { // who serves meanwhile; alone, clients would wait
-		awaitList(terminate, lists.known)
+		awaitList(terminate, lists.known, place.Lives)
+	}
+	turnAway := func() { // before anything that may take its time
+		if !place.Lives() {
+			server.Leave(time.Now())
+		}
+	}
+	if terminate.Err() != nil { // in the start: nobody is taken at all
+		turnAway()
 	}
+	place.Serves(true) // before anybody is told so
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	parts.Go(func() { served <- server.Serve(listener) })
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
 
 	<-terminate.Done()
+	turnAway()
 	resume.leave()
 	leave(server, core, listener, place, min(inForce.longest(), longestDrain))
 	err = <-served
@@ -139,9 +142,10 @@
 // leave empties the node for good, within the longest deadline and a little more.
 func leave(server *caller.Server, core *decide.Core, listener net.Listener, place *beside.Place, longest time.Duration) {
 	begun := time.Now()
-	succeeded := place.Lives()
+	place.Serves(false)
+	succeeded := place.Succeeded() // one that is not ready, or leaves too, would leave clients to nobody
 	slog.Info("draining", "longest", longest, "successor", succeeded)
-	plan := caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + afterDrain/2), End: begun.Add(longest + afterDrain)}
+	plan := ending(begun, longest)
 	if succeeded { // who connects from now on is the successor's, who was accepted before is served
 		_ = listener.Close()
 		plan.Refuse, plan.From = plan.End, begun
@@ -156,6 +160,12 @@
 	slog.Info("drained", "took", time.Since(begun))
 }
 
+// ending is how a planned restart goes where the longest deadline is so long.
+func ending(begun time.Time, longest time.Duration) caller.Plan {
+	end := begun.Add(longest + afterDrain)
+	return caller.Plan{Refuse: begun, From: begun.Add(max(longest/2, arriving)), Until: end.Add(-3 * afterDrain / 4), End: end}
+}
+
 // pause is asked of callers that are refused unseen, where the settings allow it.
 func pause(l balance.Limits) time.Duration {
 	if !l.RetryAfter {
--- a/internal/beside/beside.go
+++ b/internal/beside/beside.go
@@ -63,12 +63,13 @@
 	}
 }
 
-// lock names the one byte that stands for a place.
+// lock names one byte: the first ones stand for the places, those behind them for the
+// places whose processes take clients.
 func lock(kind int16, place int64) *unix.Flock_t {
 	return &unix.Flock_t{Type: kind, Start: place, Len: 1}
 }
 
-// at is where a place's count stands, behind all the bytes that stand for places.
+// at is where a place's count stands, behind all the bytes that are locked.
 func at(place int64) int64 { return 8 * (1 + place) }
 
 func (p *Place) use(sockets int) {
@@ -86,10 +87,32 @@
 	if p == nil {
 		return false
 	}
-	other := lock(unix.F_WRLCK, 1-p.mine)
-	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, other) == nil && other.Type != unix.F_UNLCK
+	return p.held(1 - p.mine)
 }
 
+// held tells whether another process holds the lock on a byte.
+func (p *Place) held(at int64) bool {
+	l := lock(unix.F_WRLCK, at)
+	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, l) == nil && l.Type != unix.F_UNLCK
+}
+
+// Serves tells the other process whether this one takes clients, for as long as it lives.
+// A process that leaves tells so before it asks Succeeded: then of two that leave at once
+// one at least learns it of the other, and the clients are never left to nobody.
+func (p *Place) Serves(yes bool) {
+	if p == nil {
+		return
+	}
+	kind := int16(unix.F_UNLCK)
+	if yes {
+		kind = unix.F_WRLCK
+	}
+	_ = unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, lock(kind, places+p.mine)) // nobody else asks for it
+}
+
+// Succeeded tells whether the other process takes clients, so that this one need not.
+func (p *Place) Succeeded() bool { return p != nil && p.held(places+1-p.mine) }
+
 // Share tells how many sockets this process uses, and returns how many the other
 // does, if it lives.
 func (p *Place) Share(mine int) (other int, lives bool) {
--- a/internal/beside/beside_test.go
+++ b/internal/beside/beside_test.go
@@ -58,6 +58,34 @@
 	}
 }
 
+// Whether the other process takes clients ends with its word or with its life, and of two
+// that leave at once each, or one, learns that the other does.
+func TestServes(t *testing.T) {
+	dir := t.TempDir()
+	old, next := take(t, dir), take(t, dir)
+	old.Serves(true)
+	if old.Succeeded() || !next.Succeeded() {
+		t.Error("beside one that is not ready yet")
+	}
+	next.Serves(true)
+	if !old.Succeeded() || !next.Succeeded() {
+		t.Error("beside one that serves")
+	}
+	old.Serves(false)
+	next.Serves(false)
+	if old.Succeeded() || next.Succeeded() {
+		t.Error("both leave")
+	}
+	next.Serves(true)
+	next.Close()
+	if old.Lives() || old.Succeeded() {
+		t.Error("beside one that has ended")
+	}
+	if again := take(t, dir); old.Succeeded() || !old.Lives() {
+		t.Errorf("%s inherits the word of the one before", again.Mine())
+	}
+}
+
 // What can't be the file is an error that names it.
 func TestNoFile(t *testing.T) {
 	dir := t.TempDir()
@@ -71,5 +99,9 @@
 	if alone.Lives() || shared(alone, 3) != 0 {
 		t.Error("a process that shares with nobody sees another")
 	}
+	alone.Serves(true)
+	if alone.Succeeded() {
+		t.Error("a process that shares with nobody is succeeded")
+	}
 	alone.Close()
 }
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -12,6 +12,8 @@
 	step = 20 * time.Millisecond
 	// arrivals is how long callers keep coming after the node began to leave.
 	arrivals = 600 * time.Millisecond
+	// parted is what all take who are told to go at last: a step, a write and the read-out.
+	parted = linger + 2*step
 )
 
 // Plan says how the node is emptied. Every standing connection is moved, evenly
@@ -19,20 +21,31 @@
 type Plan struct {
 	Refuse      time.Time // newcomers get the busy answer from then on
 	From, Until time.Time
-	End         time.Time // when there is no more time to wait for who is left
+	// End is when there is no more time to wait for who is left. A read-out before it, who
+	// still rests and what is not answered get their last answer, and who stands is moved.
+	End time.Time
 	// Heir is a process that goes on with what stands, and with what comes up later, in
 	// place of all moves; nil if there is none.
 	Heir exchange.Heir
 }
 
-// Drain empties the node for good. It returns when all are gone, or at the plan's end.
-func (s *Server) Drain(p Plan) {
+// Leave has the node emptied for good: what comes on callers' connections from then on gets
+// the busy answer. Drain has to follow.
+func (s *Server) Leave(refuse time.Time) {
 	s.mu.Lock()
-	if s.rejoined != nil { // what an operator began goes on by this plan
+	defer s.mu.Unlock()
+	if s.rejoined != nil { // what an operator began goes on by another plan
 		s.rejoined()
 		s.rejoined = nil
 	}
-	s.leaving, s.refuseAt, s.accepts, s.ended = true, p.Refuse, false, true
+	s.leaving, s.refuseAt, s.accepts, s.ended = true, refuse, false, true
+}
+
+// Drain empties the node for good. It returns when all are gone, or at the plan's end.
+func (s *Server) Drain(p Plan) {
+	s.Leave(p.Refuse)
+	s.mu.Lock()
+	s.end = p.End
 	s.mu.Unlock()
 	s.empty(context.Background(), p)
 }
@@ -64,12 +77,19 @@
 // once nobody is left and nobody comes any more; else who comes late is moved too.
 func (s *Server) empty(ctx context.Context, p Plan) {
 	begun, due := time.Now(), 0.0 // moves that the pace allows by now
+	last := p.End.Add(-parted)
+	until, forGood := earlier(p.Until, last), ctx.Done() == nil
 	tick := time.NewTicker(step)
 	defer tick.Stop()
 	for now := begun; now.Before(p.End); {
-		standing, waiting := s.standing()
-		if ctx.Done() == nil && len(standing) == 0 && waiting == 0 && now.Sub(begun) > arrivals {
-			return
+		standing, resting, others := s.standing()
+		if quiet := len(standing)+others == 0 && now.Sub(begun) > arrivals; forGood {
+			if quiet && resting == 0 {
+				return
+			}
+			if quiet && !now.Before(p.Refuse) || !now.Before(last) {
+				s.lastCall()
+			}
 		}
 		n := len(standing)
 		if p.Heir != nil {
@@ -79,7 +99,7 @@
 			n = 0
 		} else if now.Before(p.From) {
 			n = 0
-		} else if left := p.Until.Sub(now); left > step {
+		} else if left := until.Sub(now); left > step {
 			due += float64(n) * step.Seconds() / left.Seconds()
 			n = min(n, int(due))
 			due -= float64(n)
@@ -93,6 +113,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // move asks connections to go, unless the emptying has ended: under the lock, so that
 // none goes after Rejoin has returned.
 func (s *Server) move(ctx context.Context, standing []*exchange.Transaction) {
@@ -106,31 +133,37 @@
 	}
 }
 
-// Close ends every leg that is left and waits for the goroutines that served
-// them. The listener must be closed before.
-func (s *Server) Close() {
+// lastCall has all who rest seen off, as are those who come from now on, and gives up what
+// is not answered yet.
+func (s *Server) lastCall() {
+	var left []*exchange.Transaction
 	s.mu.Lock()
-	for conn := range s.legs {
-		_ = conn.Close()
+	s.over = true
+	for e := s.resting.Front(); e != nil; e = s.resting.Front() {
+		s.part(e.Value.(*visitor))
+	}
+	for t, submitted := range s.running {
+		if submitted { // else submitted sees to it
+			left = append(left, t)
+		}
 	}
 	s.mu.Unlock()
-	s.wg.Wait()
+	for _, t := range left {
+		t.GiveUp()
+	}
 }
 
-// standing lists the connections that stand and were not told to move, and
-// counts the other transactions, and the callers that may still open one.
-func (s *Server) standing() (list []*exchange.Transaction, others int) {
+// standing lists the connections that stand and were not told to move, and counts the
+// callers that have not opened anything and all other legs: also those that have their last
+// answer and are read out.
+func (s *Server) standing() (list []*exchange.Transaction, resting, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.running {
 		if t.Standing() {
 			list = append(list, t)
-		} else {
-			others++
 		}
 	}
-	if time.Now().Before(s.refuseAt) {
-		others += s.waiting.Len()
-	}
-	return list, others
+	resting = s.resting.Len()
+	return list, resting, len(s.legs) - resting - len(list)
 }
--- /dev/null
+++ b/internal/caller/drain_test.go
@@ -0,0 +1,229 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/decide"
+	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
+)
+
+// parked takes transactions and answers none. What it is told it keeps, in order.
+type parked struct {
+	taken  chan *exchange.Transaction
+	events chan string
+	may    chan struct{} // Submit waits for it; nil for nothing
+}
+
+func newParked() *parked {
+	return &parked{taken: make(chan *exchange.Transaction, 64), events: make(chan string, 64)}
+}
+
+func (p *parked) Submit(item decide.Item, _ decide.Branches) {
+	p.taken <- item.(*exchange.Transaction)
+	if p.may != nil {
+		<-p.may
+	}
+	p.events <- "submitted " + item.Asked().ID
+}
+func (p *parked) Adopt(decide.Item, string) bool            { return true }
+func (p *parked) CallerGone(item decide.Item)               { p.events <- "gone " + item.Asked().ID }
+func (p *parked) Ended(item decide.Item, _ balance.Outcome) { p.events <- "ended " + item.Asked().ID }
+
+// all is what comes until the end, which must be one in good order.
+func all(t *testing.T, far net.Conn) string {
+	t.Helper()
+	text, err := io.ReadAll(far)
+	if err != nil {
+		t.Errorf("after %q: %v", text, err)
+	}
+	return string(text)
+}
+
+// By the plan's end everybody has the answer that is due, and the end of the connection in
+// good order: who rests, who is being read out, who waits for longer than the plan lasts,
+// and who stands. Once they were cut off.
+func TestDrainAnswersAll(t *testing.T) {
+	p, l := newParked(), make(door)
+	s := New(p, nil, Limits{Sockets: 64})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	come := func(says string) net.Conn {
+		near, far := pair(t)
+		l <- near
+		fmt.Fprint(far, says)
+		return far
+	}
+	rests := come("")
+	half := come("OPEN h k c=fe")
+	late := come("OPEN late k c=feed,d=40000\r\n")
+	home := come("OPEN home k c=feed,d=40000,at=s1\r\n")
+	for range 2 {
+		<-p.taken
+	}
+	stands := come("OPEN stands k c=feed,d=900\r\n")
+	hopNear, hop := pair(t)
+	if up := <-p.taken; !up.Up("UP r1", "s1", leg.New(hopNear)) {
+		t.Fatal("not up")
+	}
+	if text, _ := bufio.NewReader(stands).ReadString('\n'); text != "UP r1\r\n" {
+		t.Fatalf("%q", text)
+	}
+
+	begun := time.Now()
+	plan := Plan{Refuse: begun, From: begun.Add(200 * time.Millisecond), Until: begun.Add(500 * time.Millisecond),
+		End: begun.Add(900 * time.Millisecond)}
+	drained := make(chan time.Duration, 1)
+	go func() { s.Drain(plan); drained <- time.Since(begun) }()
+	for s.TakesClients() {
+		time.Sleep(time.Millisecond)
+	}
+	if text := all(t, come("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
+		t.Errorf("who comes later: %q", text)
+	}
+	for name, c := range map[string]struct {
+		far  net.Conn
+		want string
+	}{"rests": {rests, "BUSY\r\n"}, "half a line": {half, "BUSY\r\n"}, "waits": {late, "ERR\r\n"},
+		"waits for who holds it": {home, "ERR\r\n"}, "stands": {stands, "MOVE\r\n"}} {
+		if text := all(t, c.far); text != c.want {
+			t.Errorf("%s: %q, want %q", name, text, c.want)
+		}
+		c.far.Close()
+	}
+	hop.Close()
+	if took := <-drained; took > 900*time.Millisecond+50*time.Millisecond {
+		t.Errorf("it took %v", took)
+	}
+	_ = l.Close()
+	<-served
+	s.Close()
+	told := map[string]bool{}
+	for len(p.events) > 0 {
+		told[<-p.events] = true
+	}
+	for _, want := range []string{"gone late", "gone home", "ended stands"} {
+		if !told[want] {
+			t.Errorf("the decider was not told: %s (%v)", want, told)
+		}
+	}
+	if told["submitted new"] || told["submitted h"] {
+		t.Errorf("what was read after the beginning went on: %v", told)
+	}
+}
+
+// The drain waits for who is being read out, and the end for who was accepted last: neither
+// is cut while it still sends.
+func TestDrainWaitsForReadOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, stands := range []bool{false, true} {
+			p, l := newParked(), make(door)
+			s := New(p, nil, Limits{Sockets: 64})
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			come := func(says string) net.Conn {
+				near, far := net.Pipe()
+				l <- near
+				fmt.Fprint(far, says)
+				return far
+			}
+			var stop func()
+			if stands {
+				far := come("OPEN stands k c=feed,d=900\r\n")
+				near, hop := net.Pipe()
+				(<-p.taken).Up("UP r1", "s1", leg.New(near))
+				lines := bufio.NewReader(far)
+				_, _ = lines.ReadString('\n')
+				stop = func() { _, _ = io.ReadAll(lines); far.Close(); hop.Close() }
+			}
+			time.Sleep(time.Second)
+			rests := come("")
+			begun := time.Now()
+			plan := Plan{Refuse: begun, From: begun.Add(time.Second), Until: begun.Add(2 * time.Second), End: begun.Add(2400 * time.Millisecond)}
+			drained := make(chan time.Duration, 1)
+			go func() { s.Drain(plan); drained <- time.Since(begun) }()
+			if stands {
+				go stop()
+			}
+			// Alone it is told when nobody comes any more, else by its own time.
+			text, err := bufio.NewReader(rests).ReadString('\n')
+			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !stands && (at < arrivals || at > arrivals+2*step) {
+				t.Errorf("%q, %v after %v", text, err, at)
+			}
+			at := time.Now()
+			for { // it sends on until the other side ends
+				if _, err := fmt.Fprint(rests, "OPEN late k c=feed,d=900\r\n"); err != nil {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if sent := time.Since(at); sent < linger {
+				t.Errorf("it was cut off %v after its answer", sent)
+			}
+			rests.Close()
+			if took := <-drained; took > 2400*time.Millisecond {
+				t.Errorf("it took %v", took)
+			}
+			last := func() net.Conn { near, far := net.Pipe(); l <- near; return far }() // before the listener closes
+			_ = l.Close()
+			<-served
+			closed := make(chan struct{})
+			go func() { s.Close(); close(closed) }()
+			if text, err := bufio.NewReader(last).ReadString('\n'); text != "BUSY\r\n" {
+				t.Errorf("who was accepted last: %q, %v", text, err)
+			}
+			last.Close()
+			<-closed
+		}
+	})
+}
+
+// The last call comes between a transaction's admission and its way to the decider: it has
+// one answer, and the decider, which has it by then, is told that it is over. Told before,
+// it would have sent it on.
+func TestGivenUpOnItsWay(t *testing.T) {
+	p, l := newParked(), make(door)
+	p.may = make(chan struct{})
+	s := New(p, nil, Limits{Sockets: 64})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	near, far := pair(t)
+	l <- near
+	fmt.Fprint(far, "OPEN a k c=feed,d=40000\r\n")
+	<-p.taken
+	drained := make(chan struct{})
+	go func() {
+		now := time.Now()
+		s.Drain(Plan{Refuse: now, From: now, Until: now, End: now.Add(parted + 100*time.Millisecond)})
+		close(drained)
+	}()
+	for { // until newcomers are seen off unread
+		near, other := pair(t)
+		l <- near
+		other.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if text, _ := bufio.NewReader(other).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
+			break
+		}
+		other.Close()
+	}
+	close(p.may)
+	if text := all(t, far); text != "ERR\r\n" {
+		t.Errorf("answered %q", text)
+	}
+	far.Close()
+	<-drained
+	_ = l.Close()
+	<-served
+	s.Close()
+	if first, second := <-p.events, <-p.events; first != "submitted a" || second != "gone a" {
+		t.Errorf("told %q, then %q", first, second)
+	}
+}
--- /dev/null
+++ b/internal/caller/listen.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// Serve accepts callers until the listener is closed. While there is no room for one more
+// it does not accept: those who come wait in the kernel's backlog.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.accepts = true
+	s.mu.Unlock()
+	for {
+		s.awaitRoom()
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			v := s.hold(conn, time.Now().Add(firstLine)) // here, so that it counts when room is looked for
+			s.wg.Go(func() { s.serve(v) })
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default: // out of descriptors all the same: others must end first
+			s.failed.Warn("accept", "err", err)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// Close ends every leg that is left and waits for the goroutines that served them. The
+// listener must be closed before. After Drain, those that are seen off, as who was accepted
+// last, have until the plan's end for it.
+func (s *Server) Close() {
+	s.mu.Lock()
+	ended, end := s.ended, s.end
+	s.mu.Unlock()
+	if !ended {
+		s.cut()
+	} else {
+		defer time.AfterFunc(max(time.Until(end), glance), s.cut).Stop()
+	}
+	s.wg.Wait()
+}
+
+// cut closes all legs.
+func (s *Server) cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.over = true
+	for conn := range s.legs {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/caller/room_test.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// counted notes after each accept how many sockets the server uses.
+type counted struct {
+	net.Listener
+	s    *Server
+	most atomic.Int64
+}
+
+func (c *counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	c.most.Store(max(c.most.Load(), int64(c.s.Sockets())))
+	return conn, err
+}
+
+// A crowd that rests, sends what is no line, or opens what is never answered, and does not
+// go when it is told to, gets no more sockets than there are, those of read-outs included:
+// once each newcomer was accepted. Usual callers between them are answered.
+func TestCrowdKeepsToTheSockets(t *testing.T) {
+	const sockets = 32
+	p := newParked()
+	s := New(p, nil, Limits{Sockets: sockets})
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &counted{Listener: plain, s: s}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	for i := range 200 {
+		conn, err := net.Dial("tcp", plain.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		opens := fmt.Sprintf("OPEN a%d k c=feed,d=40000\r\n", i)
+		fmt.Fprint(conn, []string{"", "HELLO\r\n", strings.Repeat("PING\r\n", pings+1), opens, "HELLO\r\n"}[i%5])
+		if i%20 == 19 {
+			usual, err := net.Dial("tcp", plain.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			begun := time.Now()
+			usual.SetDeadline(begun.Add(patience))
+			fmt.Fprint(usual, "HELLO\r\n")
+			if text, err := bufio.NewReader(usual).ReadString('\n'); text != "ERR\r\n" && text != "BUSY\r\n" {
+				t.Errorf("a usual caller behind %d: %q, %v after %v", i, text, err, time.Since(begun))
+			}
+			usual.Close()
+		}
+	}
+	if most, bound := l.most.Load(), int64(sockets+Partings(sockets)); most > bound {
+		t.Errorf("%d sockets were in use, %d allowed", most, bound)
+	}
+	if most := l.most.Load(); most < sockets {
+		t.Errorf("only %d of %d sockets were in use", most, sockets)
+	}
+	_ = plain.Close()
+	<-served
+	s.Close()
+}
+
+// A limit that falls under what stands, as the list grows or a process beside this one
+// takes its share, turns newcomers away, and not from the door.
+func TestLimitFallsUnderWhatStands(t *testing.T) {
+	p, l := newParked(), make(door)
+	s := New(p, nil, Limits{Sockets: 32})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	for i := range 12 {
+		near, far := pair(t)
+		l <- near
+		fmt.Fprintf(far, "OPEN a%d k c=feed,d=40000\r\n", i)
+		<-p.taken
+	}
+	s.Limit(8)
+	for range 20 {
+		near, far := pair(t)
+		l <- near
+		fmt.Fprint(far, "OPEN b k c=feed,d=900\r\n")
+		if text, err := io.ReadAll(far); string(text) != "BUSY\r\n" || err != nil {
+			t.Errorf("a newcomer: %q, %v", text, err)
+		}
+		far.Close()
+	}
+	if len(p.taken) > 0 {
+		t.Error("a newcomer was taken")
+	}
+	_ = l.Close()
+	<-served
+	s.Close()
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -114,6 +114,7 @@
 	hop     *leg.Leg  // after UP
 	server  string    // and whose it is
 	heir    Heir      // who is to go on with it; nil if nobody
+	offered bool      // it has been asked
 	moving  bool      // a MOVE is wanted
 	closing bool      // the caller leg is about to be closed
 	pending time.Time // when the oldest unanswered line of the caller went on
@@ -174,11 +175,12 @@
 	return t.settle(answer{line: line, from: server, hop: hop})
 }
 
-// Move asks the caller to come again. Before UP it does nothing.
+// Move asks the caller to come again, also where it was to be handed over and has not
+// been offered yet. Before UP it does nothing.
 func (t *Transaction) Move() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hop != nil && t.heir == nil {
+	if t.hop != nil && !t.offered {
 		t.moving = true
 		t.hop.Wake()
 	}
--- a/internal/exchange/relay.go
+++ b/internal/exchange/relay.go
@@ -138,10 +138,10 @@
 	case gone:
 		return t.cut(hop, CallerLeft)
 	case how != Broken: // its last line has gone on
-	case yields && errors.Is(err, os.ErrDeadlineExceeded):
-		return HandedOver
 	case moving:
 		return t.leaveHop(hop, Moved)
+	case yields && errors.Is(err, os.ErrDeadlineExceeded):
+		return HandedOver
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull):
 		return t.leaveHop(hop, Silent)
 	case t.rescue():
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -47,6 +47,10 @@
 				_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
 				t.caller.FinishWrites()
 			}
+		} else if t.yields() {
+			_ = hop.Close() // the caller's reader has stopped, or does with this
+			<-done
+			done = t.drop()
 		}
 		if how == HandedOver {
 			hop.Release() // only this process's copy: what comes on it is the other one's to read
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -144,20 +144,21 @@
 // FinishWrites ends the sending half, so that what was written arrives although
 // unread lines of the other side would turn a plain close into a reset.
 func (l *Leg) FinishWrites() {
-	if tcp, ok := l.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := l.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 }
 
 // Farewell writes a last line before the deadline and ends the leg. Unread lines of
 // the other side, which may come for as long as it lingers, don't reset it before it
-// has read that.
-func (l *Leg) Farewell(line string, deadline time.Time, linger time.Duration) {
-	_ = l.WriteText(line, deadline)
+// has read that. It tells whether the line was written.
+func (l *Leg) Farewell(line string, deadline time.Time, linger time.Duration) error {
+	err := l.WriteText(line, deadline)
 	l.FinishWrites()
 	_ = l.SetReadDeadline(time.Now().Add(linger))
 	l.Drain()
 	l.Release()
+	return err
 }
 
 // Drain reads and drops until the other side ends or the read deadline has come,
