--- a/internal/caller/room.go
+++ b/internal/caller/room.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"coralrelay/internal/exchange"
+	"coralrelay/internal/leg"
 )
 
 // glance is how long the read-out of one that has its last answer takes at least, also
 // when others wait for its socket.
 const glance = 25 * time.Millisecond
 
-// past is a read deadline that wakes a reader at once.
-var past = time.Unix(1, 0)
-
 // visitor is a caller's connection that is no transaction: it rests until its first line
 // comes, or it parts, which is to have its last answer and to be read out.
 type visitor struct {
@@ -78,7 +76,7 @@
 		return left
 	}
 	s.parting.Remove(oldest)
-	_ = v.conn.SetReadDeadline(past) // what it still sends is not read any more
+	_ = v.conn.SetReadDeadline(leg.Past) // what it still sends is not read any more
 	return glance
 }
 
@@ -135,7 +133,7 @@
 	v.since = time.Now()
 	v.place = s.parting.PushBack(v)
 	s.partings++
-	_ = v.conn.SetReadDeadline(past)
+	_ = v.conn.SetReadDeadline(leg.Past)
 }
 
 // letGo forgets a visitor, or the leg that it has become; its connection is closed.
--- a/internal/leg/leg.go
+++ b/internal/leg/leg.go
@@ -27,8 +27,8 @@
 	return bufio.NewReadWriter(bufio.NewReaderSize(nil, Size), bufio.NewWriterSize(nil, Size))
 }}
 
-// past is a read deadline that wakes a reader at once.
-var past = time.Unix(1, 0)
+// Past is a read deadline that wakes a reader at once.
+var Past = time.Unix(1, 0)
 
 // Leg is one connection with its buffers. One goroutine at a time may read and
 // one may write; Close and SetReadDeadline may come from any.
@@ -131,7 +131,7 @@
 }
 
 // Wake ends a read that is waiting.
-func (l *Leg) Wake() { _ = l.SetReadDeadline(past) }
+func (l *Leg) Wake() { _ = l.SetReadDeadline(Past) }
 
 // Abort closes the connection with a reset, as its other side was.
 func (l *Leg) Abort() {
--- a/internal/nexthop/branch.go
+++ b/internal/nexthop/branch.go
@@ -44,8 +44,7 @@
 
 // run makes the attempt. Unless it is up, its socket is closed on return. One whose
 // transaction is over meanwhile was called off, whatever came of its socket then: its
-// caller has left, and that speaks for no next hop. A burst of leavers once passed for a
-// fleet that fails.
+// caller has left, and that speaks for no next hop. Told as a reset, it could.
 func (b *branch) run() (up bool, outcome balance.Outcome, load balance.Load) {
 	if b.hop == nil {
 		return false, balance.ConnectFailed, balance.NoLoad
--- a/internal/nexthop/quiet.go
+++ b/internal/nexthop/quiet.go
@@ -8,7 +8,7 @@
 
 // quiet tells whether nothing has come on a kept connection since its last answer, so that
 // what comes next answers what is asked next. An end tells that its next hop has closed it
-// while it rested: a question written there would be asked twice. A line is a second answer
+// while it rested, and nobody would answer. A line is a second answer
 // to the last question; taken for the next one's, all later answers would be one behind.
 // It waits for nothing. What is read is lost: a connection that is not quiet is not kept.
 func quiet(l *leg.Leg) bool {
