--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -70,8 +70,12 @@
 }
 
 func judge(l *Ledger, tok *resume.Token, claimant byte) resume.Verdict {
+	return spendAs(l, tok, resume.Claimant{claimant})
+}
+
+func spendAs(l *Ledger, tok *resume.Token, c resume.Claimant) resume.Verdict {
 	tell := make(chan resume.Verdict, 1)
-	l.Spend(tok, resume.Claimant{claimant}, func(v resume.Verdict) { tell <- v })
+	l.Spend(tok, c, func(v resume.Verdict) { tell <- v })
 	return <-tell
 }
 
