Stored files of the fleet's record and entries, and tests that hold the formats to them

Cause: Go identifiers and packages are about to be renamed; stored files and wire bytes must stay as they are, and no test compared them with fixed bytes.

--- /dev/null
+++ b/internal/fleet/entry/stored_test.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/zone"
+)
+
+// The files in testdata/stored were made by
+//
+//	go test ./internal/fleet/entry -run TestStored -update
+//
+// entries.jsonl is a log, an entry a line; state.json is the state that it adds up to.
+var update = flag.Bool("update", false, "rewrite the files in testdata/stored")
+
+// golden compares what is written now with the stored file, and returns that.
+func golden(t *testing.T, name string, written []byte) []byte {
+	t.Helper()
+	path := filepath.Join("testdata", "stored", name)
+	if *update {
+		if err := os.WriteFile(path, written, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stored, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(written, stored) {
+		t.Errorf("%s: written now:\n%s\nstored:\n%s", name, written, stored)
+	}
+	return stored
+}
+
+// storedKey returns a fixed key: the root's is 1.
+func storedKey(seed byte) (private ed25519.PrivateKey, public []byte, name string) {
+	private = ed25519.NewKeyFromSeed(bytes.Repeat([]byte{seed}, ed25519.SeedSize))
+	public = private.Public().(ed25519.PublicKey)
+	return private, public, account.KeyName(public)
+}
+
+func storedGenesis() Genesis {
+	_, root, _ := storedKey(1)
+	return Genesis{Root: root, Zone: zone.Config{
+		Regions: map[string][]string{"north": {"a", "b"}, "south": {"c"}}, Zones: []string{"a", "b", "c", "d", "e"},
+		Fresh: 1100 * time.Millisecond, Skew: 210 * time.Millisecond, Confirm: 220 * time.Millisecond, Settle: 510 * time.Millisecond,
+		Steady: 2100 * time.Millisecond, Gap: 5200 * time.Millisecond, Hold: 5300 * time.Millisecond, HoldMost: 301 * time.Second,
+		Quiet: 601 * time.Second, Ramp: 11 * time.Second,
+		Enough: 3, Lost: 0.91, Most: 0.6, High: 0.86, Cold: 0.31, Multiple: 4, Bears: 12, Store: 900, Steps: []float64{0.06, 0.16, 0.36, 0.71},
+	}}
+}
+
+// storedChange is a change of the stored log, and the key that signs it; 0 for a member's own.
+type storedChange struct {
+	kind   Kind
+	signer byte
+	change any
+}
+
+func storedChanges() []storedChange {
+	_, key2, name2 := storedKey(2)
+	_, key3, name3 := storedKey(3)
+	_, key4, name4 := storedKey(4)
+	zones := []string{"a", "b", "c", "d", "e"}
+	acme := &account.Node{
+		Limits: account.Limits{Open: 1000, Rate: 200, Retries: 50, Probes: 20, Routes: 8, Teams: 4}, Overcommit: 1.5, Priority: 5,
+		Scope: account.Scope{Zones: []string{"a", "b", "c"}, Tenants: []string{"t1", "t2"}, Classes: []string{"c1", "c2"}}}
+	web := &account.Node{Limits: account.Limits{Open: 300, Rate: 60, Retries: 15, Probes: 6, Routes: 2, Teams: 1}, Priority: 1}
+	lessWeb := &account.Node{
+		Limits: account.Limits{Open: 250, Rate: 55, Retries: 14, Probes: 5, Routes: 2, Teams: 1}, Overcommit: 1.25, Priority: 7,
+		Scope: account.Scope{Zones: []string{"a", "b"}}}
+	eu := &account.Route{
+		Name: "eu", Owner: "acme", Contract: "k1", Priority: 3, Parts: []account.Part{{Zone: "a", Percent: 60}, {Zone: "b", Percent: 40}},
+		Match:  account.Match{Class: "c1", Tenant: "t1", Group: "g1", Returned: new(true), Retry: new(false)},
+		Limits: account.Limits{Open: 30.5, Rate: 6.25, Retries: 1.5, Probes: 0.5, Routes: 1, Teams: 2}}
+	half := &account.Route{Name: "half", Match: account.Match{Class: "c2", Tenant: "t2", From: 0.25, To: 0.75}}
+	gone := &account.Route{Name: "gone", Match: account.Match{Class: "c1", Tenant: "t1"}}
+	k1 := promise.Contract{
+		Name: "k1", Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Messages: true, Window: time.Minute, Share: 0.99,
+		Priority: 2, Zones: []string{"a", "b"}}
+	k2 := promise.Contract{
+		Name: "k2", Holder: "acme:eu", Quantile: 0.9, Bound: 70 * time.Millisecond, Window: 10 * time.Second, Share: 0.98, Priority: 9}
+	k3 := promise.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Bound: time.Second, Window: 20 * time.Second, Share: 0.97}
+	return []storedChange{
+		{"accounts", 1, account.Change{Ops: []account.Op{
+			{Do: "found", Path: "acme", Node: acme},
+			{Do: "found", Path: "brew", Node: &account.Node{}},
+			{Do: "grant", Path: "acme", Grant: &account.Grant{
+				Key: name2, Public: key2, Depth: 2, Acts: []string{"routes", "limits", "teams", "grants", "contracts"}}},
+		}}},
+		{"accounts", 2, account.Change{Base: 1, Ops: []account.Op{
+			{Do: "team", Path: "acme/web", Node: web},
+			{Do: "team", Path: "acme/old", Node: &account.Node{}},
+			{Do: "route", Path: "acme", Route: eu},
+			{Do: "route", Path: "acme/web", Route: half},
+			{Do: "route", Path: "acme", Route: gone},
+			{Do: "grant", Path: "acme/web", Grant: &account.Grant{Key: name3, Public: key3, Depth: 1, Acts: []string{"routes"}}},
+			{Do: "grant", Path: "acme/web", Grant: &account.Grant{Key: name4, Public: key4, Acts: []string{"limits"}}},
+		}}},
+		{"accounts", 2, account.Change{Base: 2, Whole: true, Ops: []account.Op{
+			{Do: "limits", Path: "acme/web", Was: 2, Node: lessWeb, Shrink: "proportion"},
+			{Do: "drop", Path: "acme/old"},
+			{Do: "no-route", Path: "acme", Name: "gone"},
+			{Do: "revoke", Path: "acme/web", Name: name4},
+		}}},
+		{"accounts", 1, account.Change{Base: 3, Ops: []account.Op{
+			{Do: "limits", Path: "acme", Was: 1, Node: acme, Shrink: "priority"},
+			{Do: "drop", Path: "brew"},
+		}}},
+		{"settings", 0, struct{}{}}, // not taken, and counts in the chain
+		{"zones", 0, zone.Change{Zones: zones, Over: 0.12, Set: []zone.Seen{
+			{From: "a", To: "b", Posture: zone.Leaving, Since: 1001, Fails: 1},
+			{From: "a", To: "c", Posture: zone.Leaving, Since: 1002, Fails: 2},
+			{From: "b", To: "c", Posture: zone.Leaving, Since: 1003, Fails: 3},
+			{From: "c", To: "a", Posture: zone.Suspect, Share: 0.9, Since: 1004},
+			{From: "d", To: "a", Posture: zone.Open, Share: 0.8, Since: 1005, Fails: 4},
+			{From: "e", To: "a", Posture: zone.Leaving, Since: 1006, Fails: 5},
+		}}},
+		{"zones", 0, zone.Change{Base: 1, Zones: zones, Over: 0.13, Set: []zone.Seen{
+			{From: "a", To: "b", Posture: zone.Left, Since: 2001, Fails: 1},
+			{From: "a", To: "c", Posture: zone.Left, Since: 2002, Fails: 2},
+			{From: "b", To: "c", Posture: zone.Held, Since: 2003, Until: 7303, Fails: 3},
+		}}},
+		{"zones", 0, zone.Change{Base: 2, Zones: zones, Over: 0.14, Set: []zone.Seen{
+			{From: "a", To: "c", Posture: zone.Returning, Step: 1, Share: 0.05, Rate: 9.5, Since: 3002, Fails: 2},
+		}}},
+		{"contracts", 2, promise.Change{Set: []promise.Contract{k1, k2, k3}}},
+		{"contracts", 2, promise.Change{Base: 1, Drop: []string{"k3"}}},
+		{"contracts", 0, promise.Change{Base: 2, Steer: []promise.Allocation{{Contract: "k1", Shares: map[string]float64{"a": 1}}}}},
+		{"contracts", 0, promise.Change{Base: 2, After: 1, Steer: []promise.Allocation{
+			{Contract: "k1", Shares: map[string]float64{"a": 0.25, "b": 0.75}, Over: 0.125, Unkept: "no room"}}}},
+	}
+}
+
+// storedEntry returns the change as entry number n of the log.
+func storedEntry(t *testing.T, n int, c storedChange) Entry {
+	body, err := json.Marshal(c.change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := Entry{Kind: c.kind, By: "m1", At: 1_700_000_000_000 + int64(n), Why: "<why>", Body: body}
+	if c.signer != 0 {
+		private, _, name := storedKey(c.signer)
+		e.Key = name
+		e.Sig = ed25519.Sign(private, e.Signed())
+	}
+	return e
+}
+
+// Entries of each kind are written, signed, chained and added up as ever, and a state that
+// was written down is read as what it was.
+func TestStoredLogAndState(t *testing.T) {
+	state, err := New(storedGenesis())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	filled := map[string]bool{}
+	for n, c := range storedChanges() {
+		e := storedEntry(t, n, c)
+		recordFields(reflect.ValueOf(e), filled)
+		recordFields(reflect.ValueOf(c.change), filled)
+		line := raw(t, e)
+		log.Write(append(line, '\n'))
+		var out Outcome
+		if state, out = state.Apply(line); out.Taken == (c.kind == "settings") {
+			t.Errorf("entry %d: %+v", n, out)
+		}
+	}
+	golden(t, "entries.jsonl", log.Bytes())
+	written, err := json.Marshal(state)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored := golden(t, "state.json", written)
+	read := &State{}
+	if err := Strict(stored, read); err != nil || read.Adopt(storedGenesis()) != nil || !reflect.DeepEqual(read, state) {
+		t.Errorf("read as %+v, %v; it was %+v", read, err, state)
+	}
+	recordFields(reflect.ValueOf(read), filled)
+	for field, is := range filled {
+		if !is {
+			t.Errorf("%s: no stored value shows it", field)
+		}
+	}
+}
+
+// recordFields sets, for each field reachable from a value, whether it was ever not zero.
+func recordFields(v reflect.Value, filled map[string]bool) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			recordFields(v.Elem(), filled)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			recordFields(v.Index(i), filled)
+		}
+	case reflect.Map:
+		for _, key := range v.MapKeys() {
+			recordFields(v.MapIndex(key), filled)
+		}
+	case reflect.Struct:
+		for field, value := range v.Fields() {
+			if field.IsExported() && field.Tag.Get("json") != "-" {
+				name := v.Type().String() + "." + field.Name
+				filled[name] = filled[name] || !value.IsZero()
+				recordFields(value, filled)
+			}
+		}
+	}
+}
+
+// What a signature is over, byte for byte.
+func TestStoredSignedBytes(t *testing.T) {
+	e := Entry{Kind: "zones", By: "m1", At: 0x0102030405060708, Why: "<w", Key: "k", Sig: []byte{9}, Body: json.RawMessage(`{"a": "<"}`)}
+	want := "\x00\x00\x00\x12" + "coralrelay-entry-1" + "\x00\x00\x00\x05" + "zones" + "\x00\x00\x00\x02" + "<w" +
+		"\x00\x00\x00\x01" + "k" + "\x00\x00\x00\x0e" + `{"a":"\u003c"}` + "\x01\x02\x03\x04\x05\x06\x07\x08"
+	if got := string(e.Signed()); got != want {
+		t.Errorf("signed is %q, want %q", got, want)
+	}
+}
--- a/internal/fleet/record/cipher_test.go
+++ b/internal/fleet/record/cipher_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
 	"io"
 	"net"
 	"testing"
@@ -94,3 +98,86 @@
 		_, _ = a.Close(), b.Close()
 	}
 }
+
+// sealedByHand returns a frame as the wire has it: two bytes of length, and the text sealed.
+func sealedByHand(t *testing.T, key, salt []byte, direction string, number byte, text string) []byte {
+	t.Helper()
+	derived, err := hkdf.Key(sha256.New, key, salt, "coralrelay-record-1 "+direction, 32)
+	if err != nil {
+		t.Fatal(err)
+	}
+	block, err := aes.NewCipher(derived)
+	if err != nil {
+		t.Fatal(err)
+	}
+	aead, err := cipher.NewGCM(block)
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := []byte{0, byte(len(text) + 16)}
+	nonce := []byte{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, number}
+	return append(size, aead.Seal(nil, nonce, []byte(text), size)...)
+}
+
+// greetedByHand plays the other side of a greeting on a, and returns both nonces, the
+// caller's first, and the conn that greet made.
+func greetedByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *conn) {
+	t.Helper()
+	greeted := make(chan error, 1)
+	go func() {
+		var err error
+		c, err = greet(b, key, calls)
+		greeted <- err
+	}()
+	own, other := []byte("sixteen bytes ok"), make([]byte, 16)
+	if calls {
+		head := make([]byte, 4)
+		_, _ = io.ReadFull(a, head)
+		_, _ = io.ReadFull(a, other)
+		_, _ = a.Write(own)
+		if string(head) != "CRF1" {
+			t.Errorf("a greeting begins with %q", head)
+		}
+		salt = append(other, own...)
+	} else {
+		_, _ = a.Write(append([]byte("CRF1"), own...))
+		_, _ = io.ReadFull(a, other)
+		salt = append(own, other...)
+	}
+	if err := <-greeted; err != nil {
+		t.Fatal(err)
+	}
+	return salt, c
+}
+
+// Greeting and frames are, byte for byte, what a peer of another release says and awaits.
+func TestFramesByHand(t *testing.T) {
+	key := []byte("0123456789abcdef")
+	for _, calls := range []bool{true, false} {
+		a, b := net.Pipe()
+		for _, c := range []net.Conn{a, b} {
+			_ = c.SetDeadline(time.Now().Add(patience))
+		}
+		salt, c := greetedByHand(t, a, b, key, calls)
+		out, in := "caller", "called"
+		if !calls {
+			out, in = in, out
+		}
+		done := make(chan error, 1)
+		for number, text := range []string{"first", "the second"} {
+			go func() { _, err := c.Write([]byte(text)); done <- err }()
+			want := sealedByHand(t, key, salt, out, byte(number), text)
+			got := make([]byte, len(want))
+			if _, err := io.ReadFull(a, got); err != nil || <-done != nil || !bytes.Equal(got, want) {
+				t.Errorf("calls %v, %q: written %x, %v; want %x", calls, text, got, err, want)
+			}
+			frame := sealedByHand(t, key, salt, in, byte(number), text)
+			go func() { _, err := a.Write(frame); done <- err }()
+			read := make([]byte, len(text))
+			if _, err := io.ReadFull(c, read); err != nil || <-done != nil || string(read) != text {
+				t.Errorf("calls %v, %q: read %q, %v", calls, text, read, err)
+			}
+		}
+		_, _ = a.Close(), b.Close()
+	}
+}
--- a/internal/fleet/record/options.go
+++ b/internal/fleet/record/options.go
@@ -20,8 +20,9 @@
 
 // Peer is a member that serves the record, as gossip tells.
 type Peer struct {
-	Name, Addr string
-	Index      uint64
+	Name  string `json:"Name"`
+	Addr  string `json:"Addr"`
+	Index uint64 `json:"Index"`
 }
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
--- a/internal/fleet/record/snapshot.go
+++ b/internal/fleet/record/snapshot.go
@@ -17,8 +17,8 @@
 // snapshot is raft's, whole in memory: states are small. There is one; the next takes its
 // place in one transaction.
 type snapshot struct {
-	Meta raft.SnapshotMeta
-	Data []byte // a sealed state
+	Meta raft.SnapshotMeta `json:"Meta"`
+	Data []byte            `json:"Data"` // a sealed state
 }
 
 func (s *snapshot) index() uint64 {
