--- a/balance/cold_test.go
+++ b/balance/cold_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/rules"
+	"coralrelay/internal/refmodel"
 )
 
 // All instances together must keep to a cold server's budget, whether they are
@@ -142,7 +142,7 @@
 		set.Instances = nodes
 		set.Rules.FallAfter = 1500 * ms
 		full := rate / load / servers // a second, for one warm server
-		book := rules.NewBook(rules.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.Ramp, ColdShare: 0.2,
+		book := refmodel.NewBook(refmodel.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.Ramp, ColdShare: 0.2,
 			Rate: full, Multiple: 3, Window: set.Rules.FallAfter, Chance: 2})
 		r := newRough(t, seed, set, book, nodes, servers, full*life.Seconds())
 		r.play(8*time.Second, rate, 0)       // usual
--- a/balance/rough_test.go
+++ b/balance/rough_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/rules"
+	"coralrelay/internal/refmodel"
 )
 
 // rough is several Balancers before one fleet whose servers fill, warm up, lag and
@@ -21,7 +21,7 @@
 	now     time.Duration
 	coming  moments
 	nodes   []*Balancer
-	book    *rules.Book
+	book    *refmodel.Book
 	set     Settings
 	room    float64 // connections that fill a warm server
 	servers map[string]*ServerEntry
@@ -56,7 +56,7 @@
 	return last
 }
 
-func newRough(t *testing.T, seed uint64, set Settings, book *rules.Book, nodes, servers int, room float64) *rough {
+func newRough(t *testing.T, seed uint64, set Settings, book *refmodel.Book, nodes, servers int, room float64) *rough {
 	r := &rough{t: t, rng: rand.New(rand.NewPCG(seed, 2)), now: time.Minute, book: book, set: set, room: room,
 		servers: map[string]*ServerEntry{}, conns: map[string]map[string]int{}, shown: map[string]Load{},
 		hung: map[string]bool{}, tries: map[string]int{}, due: map[string]time.Duration{}}
@@ -87,7 +87,7 @@
 		r.conns[e.ID] = map[string]int{}
 	}
 	r.servers[e.ID] = &e
-	r.book.Told(r.now, e.ID, rules.State(e.State), e.Started)
+	r.book.Told(r.now, e.ID, refmodel.State(e.State), e.Started)
 	for n := range r.nodes {
 		r.tell(n, ListUpdate{Kind: ListDelta, Entries: []ServerEntry{e}})
 	}
@@ -129,7 +129,7 @@
 	r.ids++
 	id := fmt.Sprint("r", r.ids)
 	r.due[id] = r.now + 2*time.Second
-	r.book.Asked(r.now, id, r.due[id], rules.Repeats{})
+	r.book.Asked(r.now, id, r.due[id], refmodel.Repeats{})
 	r.tell(r.rng.IntN(len(r.nodes)), Request{ID: id, Class: "c", Returned: returned, Deadline: r.due[id]})
 }
 
@@ -143,9 +143,9 @@
 		case Attempt:
 			r.attempt(n, a)
 		case Refuse:
-			r.book.Answered(r.now, a.ID, rules.Refused)
+			r.book.Answered(r.now, a.ID, refmodel.Refused)
 		case Fail:
-			r.book.Answered(r.now, a.ID, rules.Failed)
+			r.book.Answered(r.now, a.ID, refmodel.Failed)
 		case Move:
 			r.in(ms, func() { r.end(n, a.ID, Cancelled) })
 		}
@@ -166,7 +166,7 @@
 	r.book.Sent(r.now, a.ID, a.Server)
 	try := r.tries[a.ID]
 	r.tries[a.ID]++
-	failed := func(o Outcome, how rules.End) func() {
+	failed := func(o Outcome, how refmodel.End) func() {
 		return func() {
 			r.book.Ended(r.now, a.ID, how)
 			r.tell(n, AttemptEnded{ID: a.ID, Attempt: try, Server: a.Server, Outcome: o, Load: NoLoad})
@@ -174,13 +174,13 @@
 	}
 	switch {
 	case r.hung[a.Server]:
-		r.in(r.due[a.ID]-r.now, failed(TimedOut, rules.NoReply))
+		r.in(r.due[a.ID]-r.now, failed(TimedOut, refmodel.NoReply))
 	case r.loadOf(a.Server) > 1.2:
-		r.in(5*ms, failed(Full, rules.NotRun))
+		r.in(5*ms, failed(Full, refmodel.NotRun))
 	default:
 		r.conns[a.Server][a.ID] = n
 		r.in(5*ms, func() {
-			r.book.Answered(r.now, a.ID, rules.Served)
+			r.book.Answered(r.now, a.ID, refmodel.Served)
 			r.tell(n, Started{ID: a.ID, Attempt: try, Server: a.Server, Latency: 5 * ms})
 			r.in(time.Duration(r.rng.ExpFloat64()*float64(10*time.Second)), func() { r.end(n, a.ID, OK) })
 		})
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/rules"
+	"coralrelay/internal/refmodel"
 )
 
 // world plays legal events at random against one Balancer and writes every one, and
@@ -16,7 +16,7 @@
 	rng      *rand.Rand
 	set      Settings
 	d        *bench
-	book     *rules.Book
+	book     *refmodel.Book
 	requests map[string]*job
 	servers  map[string]*ServerEntry
 	probes   []string
@@ -38,7 +38,7 @@
 
 func newWorld(t *testing.T, seed uint64, set Settings) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, requests: map[string]*job{},
-		servers: map[string]*ServerEntry{}, book: rules.NewBook(rules.Terms{Grace: set.Rules.AnswerGrace,
+		servers: map[string]*ServerEntry{}, book: refmodel.NewBook(refmodel.Terms{Grace: set.Rules.AnswerGrace,
 			Attempts: set.Limits.MaxAttempts, Drain: set.Rules.DrainGrace, Prompt: 2 * set.Tick})}
 	w.d = newBench(t, set)
 	for i := range 6 {
@@ -61,7 +61,7 @@
 	var list []ServerEntry
 	for _, id := range w.ordered() {
 		s := w.servers[id]
-		w.book.Told(w.d.now, id, rules.State(s.State), s.Started)
+		w.book.Told(w.d.now, id, refmodel.State(s.State), s.Started)
 		if kind == ListDelta || s.State != Gone {
 			list = append(list, *s)
 		}
@@ -70,8 +70,8 @@
 }
 
 // repeats is what the book has to know of a class.
-func (w *world) repeats(c Class) rules.Repeats {
-	r := rules.Repeats{Never: c.Effect == Unsafe}
+func (w *world) repeats(c Class) refmodel.Repeats {
+	r := refmodel.Repeats{Never: c.Effect == Unsafe}
 	if c.Effect == Keyed {
 		r.Within = c.Window
 		switch c.Scope {
@@ -97,10 +97,10 @@
 			j.out = a.Server
 			j.attempts++
 		case Refuse:
-			w.book.Answered(w.d.now, a.ID, rules.Refused)
+			w.book.Answered(w.d.now, a.ID, refmodel.Refused)
 			w.requests[a.ID].over = true
 		case Fail:
-			w.book.Answered(w.d.now, a.ID, rules.Failed)
+			w.book.Answered(w.d.now, a.ID, refmodel.Failed)
 			w.requests[a.ID].over = true
 		case Probe:
 			if s := w.servers[a.Server]; s == nil {
@@ -126,13 +126,13 @@
 	switch {
 	case j.open:
 	case o == OK:
-		w.book.Answered(w.d.now, j.ID, rules.Served)
+		w.book.Answered(w.d.now, j.ID, refmodel.Served)
 	case o == Full || o == ConnectFailed || o == Moot:
-		w.book.Ended(w.d.now, j.ID, rules.NotRun)
+		w.book.Ended(w.d.now, j.ID, refmodel.NotRun)
 	case o == Errored:
-		w.book.Ended(w.d.now, j.ID, rules.MayRun)
+		w.book.Ended(w.d.now, j.ID, refmodel.MayRun)
 	default:
-		w.book.Ended(w.d.now, j.ID, rules.NoReply)
+		w.book.Ended(w.d.now, j.ID, refmodel.NoReply)
 	}
 	j.over = final
 	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, Load: NoLoad}))
@@ -174,7 +174,7 @@
 				w.end(j, []Outcome{OK, Reset, Cancelled}[w.rng.IntN(3)])
 			case o == OK && w.rng.IntN(2) == 0:
 				j.open = true
-				w.book.Answered(w.d.now, j.ID, rules.Served)
+				w.book.Answered(w.d.now, j.ID, refmodel.Served)
 				w.check(w.d.tell(Started{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
 			default:
 				w.end(j, o)
--- a/cmd/coralfleet/main.go
+++ b/cmd/coralagent/main.go
@@ -1,4 +1,4 @@
-// Command coralfleet is the agent beside one node: it gossips with the agents of the other
+// Command coralagent is the agent beside one node: it gossips with the agents of the other
 // nodes and tells its node what it may spend of what the whole fleet keeps.
 package main
 
@@ -16,11 +16,11 @@
 	"github.com/alecthomas/kong"
 
 	"coralrelay/internal/fleet/agent"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
 	"coralrelay/internal/logs"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/operatorconfig"
 )
 
 type cli struct {
@@ -33,16 +33,16 @@
 	defer stop()
 	logs.Set(os.Stderr, false)
 	var c cli
-	kong.Parse(&c, kong.Name("coralfleet"),
+	kong.Parse(&c, kong.Name("coralagent"),
 		kong.Description("The agent beside one node, through which nodes share limits and verdicts. docs/operate/fleet-limits.md has its keys."))
 	if err := c.run(ctx); err != nil {
-		slog.Error("coralfleet", "err", err)
+		slog.Error("coralagent", "err", err)
 		os.Exit(1)
 	}
 }
 
 func (c *cli) run(ctx context.Context) error {
-	own, err := operator.Load(c.Config)
+	own, err := operatorconfig.Load(c.Config)
 	if err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 	}
 	f := own.Fleet
 	if f.Agent == "" {
-		return operator.Fault{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
+		return operatorconfig.Fault{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
 	}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) + c.ClockOffset }
 	m := newMember(f, clock)
@@ -65,7 +65,7 @@
 	defer parts.Wait()
 	defer cancel()
 	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.Record.Lease.Duration, Clock: clock,
-		Offset: c.ClockOffset, Together: sabotage.On("together"), Guards: zoneGuards()}
+		Offset: c.ClockOffset, Together: mutation.On("together"), Guards: zoneGuards()}
 	if f.Zones.Enabled {
 		zones := f.Zones.Config()
 		o.Zones = &zones
@@ -85,11 +85,11 @@
 	served := make(chan error, 1)
 	go func() {
 		defer cancel() // without it the node can't ask
-		served <- link.Serve(ctx, l, a)
+		served <- agentapi.Serve(ctx, l, a)
 	}()
 	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.Record.On(), "zones", f.Zones.Enabled)
-	err = m.Run(ctx, member.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
-		Open: sabotage.On("open"), Interval: f.Interval.Duration, Log: toLog{}})
+	err = m.Run(ctx, gossip.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
+		Open: mutation.On("open"), Interval: f.Interval.Duration, Log: toLog{}})
 	cancel()
 	if e := <-served; err == nil {
 		err = e
--- /dev/null
+++ b/cmd/coralagent/parts.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agent"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/replog"
+	"coralrelay/internal/fleet/zonestatus"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/operatorconfig"
+)
+
+// newMember is this agent's part in gossip.
+func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Agent {
+	cfg := quota.Config{Epoch: f.Epoch.Duration, Hold: f.Hold.Duration, Fresh: f.Fresh.Duration, Retries: f.Retries, Shun: f.Shun}
+	guards := quota.Guards{Ranks: mutation.On("ranks"), Expire: mutation.On("expire"), Quorum: mutation.On("quorum"), Budget: mutation.On("budget")}
+	m := gossip.NewAgent(f.Name, cfg, guards, clock)
+	m.Zone = f.Zone
+	if f.Record.On() {
+		m.Record = f.Record.Reached()
+	}
+	return m
+}
+
+func zoneGuards() zonestatus.Guards {
+	return zonestatus.Guards{Panic: mutation.On("panic"), Return: mutation.On("return"), Accuse: mutation.On("accuse"),
+		Hold: mutation.On("hold"), Viewpoint: mutation.On("viewpoint"), Quorum: mutation.On("quorum")}
+}
+
+// keepRecord opens the record and runs it until ctx ends.
+func keepRecord(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, o *agent.Options) error {
+	key, err := gossip.ReadKey(f.Key)
+	if err != nil {
+		return err
+	}
+	root, err := f.Record.RootKey()
+	if err != nil {
+		return err
+	}
+	var voters []replog.Voter
+	for _, v := range f.Record.Voters {
+		voters = append(voters, replog.Voter(v))
+	}
+	peers := func() (all []replog.Peer) {
+		for _, m := range o.Member.Members() {
+			if m.Name != f.Name && m.Record != "" && m.Status == quota.Alive {
+				all = append(all, replog.Peer{Name: m.Name, Addr: m.Record, Index: m.Index})
+			}
+		}
+		return all
+	}
+	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.Record.Dir, Bind: f.Record.Bind, Advertise: f.Record.Advertise,
+		Voters: voters, Key: key, Genesis: logentry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.Record.Lease.Duration,
+		Peers: peers, Log: toLog{}, Ignore: replog.Guards{Commit: mutation.On("commit"), Chain: mutation.On("chain"),
+			Sync: mutation.On("sync"), Stale: mutation.On("stale")}})
+	if err != nil {
+		return err
+	}
+	o.Record = r
+	parts.Go(func() {
+		if err := r.Run(ctx); err != nil {
+			slog.Error("fleet: the record has ended, this member acts on its last state and on what its node sees", "err", err)
+		}
+	})
+	return nil
+}
+
+// accountGuards are those that a scene takes out; in other builds all are in.
+func accountGuards() account.Guards {
+	return account.Guards{Parent: mutation.On("parent"), Subtree: mutation.On("subtree"), Revoke: mutation.On("revoke"),
+		Half: mutation.On("half"), CallBack: mutation.On("callback")}
+}
--- a/cmd/coralfleet/promises.go
+++ b/cmd/coralagent/promises.go
@@ -2,19 +2,19 @@
 
 import (
 	"coralrelay/internal/fleet/agent"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/operatorconfig"
 )
 
 // promises is this agent's part in keeping contracts; nil where they are not kept.
-func promises(f operator.Fleet) *agent.Promises {
+func promises(f operatorconfig.Fleet) *agent.Promises {
 	if !f.Promises.Enabled {
 		return nil
 	}
 	p := &agent.Promises{Config: f.Promises.Config(), Pace: f.Promises.Pace, Time: f.Promises.Time, Zones: f.Zones.Config(),
-		Guards: promise.Guards{Greedy: sabotage.On("greedy"), Confidence: sabotage.On("confidence"), Hysteresis: sabotage.On("hysteresis"),
-			Explore: sabotage.On("explore"), Limits: sabotage.On("limits"), Stale: sabotage.On("stale-evidence")}}
+		Guards: slo.Guards{Greedy: mutation.On("greedy"), Confidence: mutation.On("confidence"), Hysteresis: mutation.On("hysteresis"),
+			Explore: mutation.On("explore"), Limits: mutation.On("limits"), Stale: mutation.On("stale-evidence")}}
 	for _, v := range f.Record.Voters {
 		p.Voters = append(p.Voters, v.Name)
 	}
--- a/cmd/coralctl/account_test.go
+++ b/cmd/coralctl/account_test.go
@@ -14,20 +14,20 @@
 
 	"github.com/alecthomas/kong"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/keyfile"
 )
 
 // recorder is an agent whose record is in memory.
 type recorder struct {
 	mu    sync.Mutex
-	state *entry.State
+	state *logentry.State
 }
 
-func (r *recorder) Answer(link.Said) (told link.Told) { return told }
+func (r *recorder) Answer(agentapi.Said) (told agentapi.Told) { return told }
 
-func (r *recorder) Operator(_ context.Context, ask link.Ask) (any, error) {
+func (r *recorder) Operator(_ context.Context, ask agentapi.Ask) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ask.Ask == "record" {
@@ -51,7 +51,7 @@
 		t.Fatal(err)
 	}
 	r := &recorder{}
-	if r.state, err = entry.New(entry.Genesis{Root: root}); err != nil {
+	if r.state, err = logentry.New(logentry.Genesis{Root: root}); err != nil {
 		t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,7 +59,7 @@
 		t.Fatal(err)
 	}
 	served := make(chan error)
-	go func() { served <- link.Serve(t.Context(), l, r) }()
+	go func() { served <- agentapi.Serve(t.Context(), l, r) }()
 	t.Cleanup(func() {
 		if err := <-served; err != nil {
 			t.Error(err)
--- a/cmd/coralctl/change.go
+++ b/cmd/coralctl/change.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/keyfile"
 )
 
@@ -30,7 +30,7 @@
 	var all struct {
 		Accounts account.State `json:"accounts"`
 	}
-	err = link.Call(addr, link.Ask{Ask: "record"}, &all)
+	err = agentapi.Call(addr, agentapi.Ask{Ask: "record"}, &all)
 	return addr, all.Accounts, err
 }
 
@@ -52,22 +52,22 @@
 	if err != nil {
 		return err
 	}
-	e := entry.Entry{Kind: entry.Accounts, At: time.Now().UnixMilli(), Why: c.Why, Body: body,
+	e := logentry.Entry{Kind: logentry.Accounts, At: time.Now().UnixMilli(), Why: c.Why, Body: body,
 		Key: account.KeyName(private.Public().(ed25519.PublicKey))}
 	e.Sig = ed25519.Sign(private, e.Signed())
 	raw, err := json.Marshal(e)
 	if err != nil {
 		return err
 	}
-	ask := link.Ask{Ask: "propose", Entry: raw}
+	ask := agentapi.Ask{Ask: "propose", Entry: raw}
 	if c.DryRun {
 		ask.Ask = "check"
 	}
 	var answer struct {
-		Outcome entry.Outcome `json:"outcome"`
+		Outcome logentry.Outcome `json:"outcome"`
 	}
-	var no *link.Refusal
-	if err := link.Call(addr, ask, &answer); errors.As(err, &no) && no.Unknown {
+	var no *agentapi.Refusal
+	if err := agentapi.Call(addr, ask, &answer); errors.As(err, &no) && no.Unknown {
 		return fmt.Errorf("%w; it may have been taken or may yet be: look before you try again, it can't be taken twice", err)
 	} else if err != nil {
 		return err
@@ -101,7 +101,7 @@
 		return err
 	}
 	var ops []account.Op
-	if err := entry.Strict(raw, &ops); err != nil {
+	if err := logentry.Strict(raw, &ops); err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
 	return c.send(func(account.State) ([]account.Op, error) { return ops, nil })
--- a/cmd/coralctl/fleet.go
+++ b/cmd/coralctl/fleet.go
@@ -8,8 +8,8 @@
 	"text/tabwriter"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/operatorconfig"
 )
 
 // An agentArg says which agent is asked.
@@ -26,7 +26,7 @@
 	if err != nil {
 		return "", err
 	}
-	own, err := operator.Parse(f)
+	own, err := operatorconfig.Parse(f)
 	if err == nil && own.Fleet.Agent == "" {
 		err = errors.New("fleet.agent: empty, there is no agent to ask")
 	}
@@ -44,14 +44,14 @@
 	if err != nil {
 		return err
 	}
-	var s link.State
-	if err := link.Call(addr, link.Ask{Ask: "state"}, &s); err != nil {
+	var s agentapi.State
+	if err := agentapi.Call(addr, agentapi.Ask{Ask: "state"}, &s); err != nil {
 		return err
 	}
 	return printState(os.Stdout, &s, time.Now())
 }
 
-func printState(out io.Writer, s *link.State, now time.Time) error {
+func printState(out io.Writer, s *agentapi.State, now time.Time) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "member\t%s\n", s.Name)
 	fmt.Fprintf(w, "zone\t%s\n", or(s.Zone, "none"))
@@ -88,7 +88,7 @@
 	return w.Flush()
 }
 
-func heard(s *link.State) string {
+func heard(s *agentapi.State) string {
 	switch {
 	case s.Heard < 0:
 		return "never: this member acts on its last state and on what its node sees"
--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -13,9 +13,9 @@
 	"github.com/alecthomas/kong"
 
 	"coralrelay/internal/keyfile"
-	"coralrelay/internal/ledger"
-	"coralrelay/internal/operator/schema"
-	"coralrelay/internal/resume"
+	"coralrelay/internal/operatorconfig/schema"
+	"coralrelay/internal/replayguard"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/store"
 )
 
@@ -130,7 +130,7 @@
 }
 
 func (c *storeLedgerCmd) Run() error {
-	s, err := store.Open(c.File, ledger.Schema, store.Options{ReadOnly: true})
+	s, err := store.Open(c.File, replayguard.Schema, store.Options{ReadOnly: true})
 	if err != nil {
 		return err
 	}
@@ -138,7 +138,7 @@
 	fmt.Printf("ledger %v, layout %d, %d bytes\n", s.ID, s.Layout(), s.Size())
 	total := 0
 	err = s.View(func(tx *store.Tx) error {
-		return ledger.EachWindow(tx, func(w resume.Window, spent int) {
+		return replayguard.EachWindow(tx, func(w resumetoken.Window, spent int) {
 			total += spent
 			fmt.Printf("  expire by %s: %d spent\n", w.End().Format(time.RFC3339), spent)
 		})
--- a/cmd/coralctl/script_test.go
+++ b/cmd/coralctl/script_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
 )
 
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"coralctl": main}) }
@@ -23,7 +23,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", dir, "coralrelay/cmd/coralfleet").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir, "coralrelay/cmd/coralagent").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
@@ -68,11 +68,11 @@
 	ts.Check(os.WriteFile(path, []byte(os.Expand(ts.ReadFile(path), ts.Getenv)), 0o600))
 }
 
-// agent FILE starts coralfleet with it and waits until it answers.
+// agent FILE starts coralagent with it and waits until it answers.
 func agent(ts *testscript.TestScript, _ bool, args []string) {
 	dir, err := built()
 	ts.Check(err)
-	c := exec.Command(filepath.Join(dir, "coralfleet"), "--config", ts.MkAbs(args[0]))
+	c := exec.Command(filepath.Join(dir, "coralagent"), "--config", ts.MkAbs(args[0]))
 	said, err := os.Create(ts.MkAbs("agent.log"))
 	ts.Check(err)
 	c.Dir, c.Stderr = ts.MkAbs("."), said
@@ -85,8 +85,8 @@
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	for begun := time.Now(); ; <-tick.C {
-		var s link.State
-		if err := link.Call(ts.Getenv("AGENT"), link.Ask{Ask: "state"}, &s); err == nil {
+		var s agentapi.State
+		if err := agentapi.Call(ts.Getenv("AGENT"), agentapi.Ask{Ask: "state"}, &s); err == nil {
 			return
 		}
 		if time.Since(begun) > 10*time.Second {
--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"coralrelay/internal/beside"
-	"coralrelay/internal/caller"
+	"coralrelay/internal/admin"
 	"coralrelay/internal/config"
-	"coralrelay/internal/mgmt"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/instancelock"
+	"coralrelay/internal/operatorconfig"
 )
 
 const (
@@ -30,13 +30,13 @@
 }
 
 // shareOut counts the descriptors of the parts that are switched on.
-func shareOut(c config.Config, own operator.File, place *beside.Place) descriptors {
+func shareOut(c config.Config, own operatorconfig.File, place *instancelock.Place) descriptors {
 	d := descriptors{all: c.Limits.Sockets, fixed: processDescriptors}
 	if own.UDP.Listen != "" {
 		d.all = max(d.all-own.UDP.Sockets, leastSockets)
 	}
 	if c.Mgmt != "" { // a listener, and one that waits for its turn
-		d.fixed += mgmt.Callers + 2
+		d.fixed += admin.Callers + 2
 	}
 	if place != nil {
 		d.fixed += besideDescriptors
@@ -54,5 +54,5 @@
 // listed; a quarter is theirs whatever the list says.
 func (d descriptors) callers(listed int) int {
 	left := max(d.all-d.fixed-listed, d.all/4)
-	return left - caller.Partings(left*16/17)
+	return left - downstream.Partings(left*16/17)
 }
--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -15,11 +15,11 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/config"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/handover"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/roster"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/hotrestart"
+	"coralrelay/internal/proxy"
+	"coralrelay/internal/upstream"
 )
 
 // While discovery is down a crowd rests, sends what is no line, or opens and stays. The
@@ -31,10 +31,10 @@
 	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
 	var got atomic.Int32
 	hop := listen(t, nextHop(&got))
-	list := standin.NewRoster()
+	list := fake.NewRoster()
 	t.Cleanup(list.Close)
 	for i := range hops { // s1 first, which the node knows by its configuration
-		list.Set(fmt.Sprint("s", i+1), standin.Active, time.Time{}, map[string]string{"n0": hop})
+		list.Set(fmt.Sprint("s", i+1), fake.Active, time.Time{}, map[string]string{"n0": hop})
 	}
 	behind, err := list.Listen("n0")
 	if err != nil {
@@ -151,7 +151,7 @@
 // taker keeps what is handed over.
 type taker chan [2]net.Conn
 
-func (k taker) Adopt(_ exchange.Standing, caller, hop net.Conn) bool {
+func (k taker) Adopt(_ proxy.Standing, caller, hop net.Conn) bool {
 	k <- [2]net.Conn{caller, hop}
 	return true
 }
@@ -202,17 +202,17 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var parts sync.WaitGroup
 	to, dir := make(taker, 1), t.TempDir()
-	if err := handover.Serve(ctx, &parts, dir, "n0", to); err != nil {
+	if err := hotrestart.Serve(ctx, &parts, dir, "n0", to); err != nil {
 		t.Fatal(err)
 	}
-	g, err := handover.Give(dir, "n0")
+	g, err := hotrestart.Give(dir, "n0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, end := range ends { // what the taker has is its own doing
 		end.(*net.TCPConn).SetNoDelay(false)
 	}
-	if !g.Take(exchange.Standing{}, ends[0], ends[1]) {
+	if !g.Take(proxy.Standing{}, ends[0], ends[1]) {
 		t.Fatal("not taken")
 	}
 	for i, conn := range <-to {
@@ -225,7 +225,7 @@
 
 	addr := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	for what, dial := range map[string]func(context.Context, string, time.Time) (net.Conn, error){
-		"to a next hop": nexthop.New(t.Context(), nexthop.Limits{}).Dial, "to discovery": roster.New(addr, nil).Dial,
+		"to a next hop": upstream.New(t.Context(), upstream.Limits{}).Dial, "to discovery": discovery.New(addr, nil).Dial,
 	} {
 		conn, err := dial(t.Context(), addr, time.Now().Add(patience))
 		if err != nil {
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -6,24 +6,24 @@
 	"log/slog"
 	"sync"
 
-	"coralrelay/internal/decide"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/operatorconfig"
 )
 
 // startFleet keeps the node to the fleet's budgets and routes, as its agent tells them, if one
 // is named. While the agent can't be reached the node goes on by itself. It is called before
 // the Core runs.
-func startFleet(ctx context.Context, parts *sync.WaitGroup, f operator.Fleet, core *decide.Core) error {
-	if f.Agent == "" || sabotage.On("deaf") {
+func startFleet(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, core *dispatch.Core) error {
+	if f.Agent == "" || mutation.On("deaf") {
 		return nil
 	}
 	lost := func(err error) {
 		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
 	}
-	l := &link.Link{Addr: f.Agent, Say: func() link.Said { return link.Said{Spending: core.Spending()} },
-		Take: func(t link.Told) { core.Grant(t.Granted) }, Lost: lost}
+	l := &agentapi.Link{Addr: f.Agent, Say: func() agentapi.Said { return agentapi.Said{Spending: core.Spending()} },
+		Take: func(t agentapi.Told) { core.Grant(t.Granted) }, Lost: lost}
 	if f.Record.On() {
 		r, err := newRoutes(core, f.Deal())
 		if err != nil {
@@ -31,8 +31,8 @@
 		}
 		core.Router = r
 		say, take := l.Say, l.Take
-		l.Say = func() link.Said { s := say(); r.say(&s); return s }
-		l.Take = func(t link.Told) { take(t); r.take(&t) }
+		l.Say = func() agentapi.Said { s := say(); r.say(&s); return s }
+		l.Take = func(t agentapi.Told) { take(t); r.take(&t) }
 		l.Lost = func(err error) { r.lost(); lost(err) }
 	}
 	countPromises(l, f, core)
--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -5,17 +5,17 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/roster"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/mutation"
 	"coralrelay/internal/udp"
+	"coralrelay/internal/upstream"
 )
 
 // fleet passes a list on: first the addresses, then the decision.
 type fleet struct {
-	hops  *nexthop.Hops
-	core  *decide.Core
+	hops  *upstream.Hops
+	core  *dispatch.Core
 	udp   udp.Fronts    // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
 	once  sync.Once
@@ -23,8 +23,8 @@
 	listed func(n int)
 }
 
-func (f *fleet) Listed(u roster.Update) {
-	if sabotage.On("drain") {
+func (f *fleet) Listed(u discovery.Update) {
+	if mutation.On("drain") {
 		for i := range u.Entries {
 			if u.Entries[i].State == balance.Draining {
 				u.Entries[i].State = balance.Ready
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -13,7 +13,7 @@
 
 	"coralrelay/internal/config"
 	"coralrelay/internal/logs"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 // version is what the build knows of its commit.
@@ -55,10 +55,10 @@
 
 // start reads the files and serves. file is the operator's own, empty for none.
 func start(terminate context.Context, hangUps <-chan os.Signal, file string) error {
-	own := operator.Default()
+	own := operatorconfig.Default()
 	if file != "" {
 		var err error
-		if own, err = operator.Load(file); err != nil {
+		if own, err = operatorconfig.Load(file); err != nil {
 			return err
 		}
 		logs.Set(os.Stderr, own.Log.Format == "json")
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"coralrelay/internal/config"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -150,7 +150,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, nil, c, operator.Default(), "") }()
+	go func() { ended <- serve(ctx, nil, c, operatorconfig.Default(), "") }()
 	t.Cleanup(cancel)
 	ready(t, addr)
 	return addr, cancel, ended
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -12,15 +12,15 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/beside"
-	"coralrelay/internal/caller"
+	"coralrelay/internal/admin"
 	"coralrelay/internal/config"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/handover"
-	"coralrelay/internal/mgmt"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/hotrestart"
+	"coralrelay/internal/instancelock"
+	"coralrelay/internal/metrics"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/upstream"
 )
 
 const (
@@ -32,7 +32,7 @@
 	listWithin = 2 * time.Second
 	// besideSockets are what a process needs besides its callers and their branches:
 	// operators' calls, probes, discovery, listeners.
-	besideSockets = mgmt.Callers + 24
+	besideSockets = admin.Callers + 24
 	// looksBeside is how old the word on the process beside this one may be.
 	looksBeside = 50 * time.Millisecond
 	// drainFrom, drainOver: how an operator's drain moves what stands. Callers come for
@@ -45,11 +45,11 @@
 // takePlace takes this process's place beside another, where there may be one; else
 // it returns nil. What the other holds and can't hand over ends the start, and not the
 // other.
-func takePlace(c config.Config, l net.Listener, own operator.File) (*beside.Place, error) {
+func takePlace(c config.Config, l net.Listener, own operatorconfig.File) (*instancelock.Place, error) {
 	if c.Inherited == 0 {
 		return nil, nil
 	}
-	place, err := beside.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
+	place, err := instancelock.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
 	if err != nil || !place.Lives() {
 		return place, err
 	}
@@ -67,8 +67,8 @@
 }
 
 // heir is the successor that takes what stands, or nil: then it is moved.
-func heir(place *beside.Place) *handover.Giver {
-	g, err := handover.Give(os.TempDir(), place.Other())
+func heir(place *instancelock.Place) *hotrestart.Giver {
+	g, err := hotrestart.Give(os.TempDir(), place.Other())
 	if err != nil {
 		slog.Warn("what stands is moved", "err", err)
 		return nil
@@ -79,7 +79,7 @@
 // neighbour is the process beside this one, as it was a moment ago: nobody who asks waits
 // for a file.
 type neighbour struct {
-	place   *beside.Place
+	place   *instancelock.Place
 	sockets atomic.Int64 // that it uses
 }
 
@@ -134,28 +134,28 @@
 
 // successor goes on with what another process hands over.
 type successor struct {
-	*caller.Server
-	core *decide.Core
+	*downstream.Server
+	core *dispatch.Core
 }
 
 func (s successor) Learn(m balance.Memory) { s.core.Learn(m) }
 
 // operations are what operators may ask of the node.
 type operations struct {
-	*caller.Server
-	hops *nexthop.Hops
-	core *decide.Core
-	book *figures.Book
+	*downstream.Server
+	hops *upstream.Hops
+	core *dispatch.Core
+	book *metrics.Book
 }
 
 func (o operations) Figures() string {
-	return o.book.Text(figures.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.Avoided()})
+	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.Avoided()})
 }
 
 func (o operations) LameDuck() {
 	now := time.Now()
 	slog.Info("emptying the node, as an operator asked")
-	o.Server.LameDuck(caller.Plan{Refuse: now.Add(drainRefuse), From: now.Add(drainFrom), Until: now.Add(drainOver), End: now.Add(noEnd)})
+	o.Server.LameDuck(downstream.Plan{Refuse: now.Add(drainRefuse), From: now.Add(drainFrom), Until: now.Add(drainOver), End: now.Add(noEnd)})
 }
 
 func (o operations) Rejoin() {
@@ -164,7 +164,7 @@
 }
 
 // startMgmt starts the operators' front, if it has an address. It ends with ctx.
-func startMgmt(ctx context.Context, parts *sync.WaitGroup, addr string, node mgmt.Node) error {
+func startMgmt(ctx context.Context, parts *sync.WaitGroup, addr string, node admin.Node) error {
 	if addr == "" {
 		return nil
 	}
@@ -173,6 +173,6 @@
 		return fmt.Errorf("mgmt: %w", err)
 	}
 	context.AfterFunc(ctx, func() { _ = l.Close() })
-	parts.Go(func() { _ = mgmt.New(node).Serve(l) })
+	parts.Go(func() { _ = admin.New(node).Serve(l) })
 	return nil
 }
--- a/cmd/coralrelay/outlives_test.go
+++ b/cmd/coralrelay/outlives_test.go
@@ -48,8 +48,8 @@
 	all = all[:runtime.Stack(all, true)]
 	for _, stack := range strings.Split(string(all), "\n\n")[1:] {
 		_, creator, _ := strings.Cut(stack, "created by coralrelay/")
-		for _, part := range []string{"internal/caller.", "internal/exchange.", "internal/decide.", "internal/roster.",
-			"internal/mgmt.", "cmd/coralrelay.serve"} {
+		for _, part := range []string{"internal/downstream.", "internal/proxy.", "internal/dispatch.", "internal/discovery.",
+			"internal/admin.", "cmd/coralrelay.serve"} {
 			if strings.HasPrefix(creator, part) {
 				t.Errorf("still there:\n%s", stack)
 			}
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"coralrelay/internal/decide"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/operatorconfig"
 )
 
 // mostDone are the parts of time that wait for the agent to ask: more is too late for it.
@@ -15,23 +15,23 @@
 // promises counts response times by contract and region, for those who decide where
 // contracts go. What is below now belongs to the Core's goroutine.
 type promises struct {
-	core  *decide.Core
+	core  *dispatch.Core
 	zones map[string]string // the region of each zone that is in one
 	now   func() time.Duration
 
-	tally *promise.Tally
+	tally *slo.Tally
 	at    map[string]string // next hops' regions
-	done  []promise.Sample
+	done  []slo.Sample
 	known uint64 // version of the contracts that count
 }
 
 // countPromises has the link tell what the node measures, where contracts are kept.
-func countPromises(l *link.Link, f operator.Fleet, core *decide.Core) {
+func countPromises(l *agentapi.Link, f operatorconfig.Fleet, core *dispatch.Core) {
 	if !f.Promises.Enabled {
 		return
 	}
 	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.Promises.Time(time.Duration(time.Now().UnixNano())) },
-		tally: promise.NewTally(f.Promises.Config(), f.Name, f.Zone, time.Now().UnixNano())}
+		tally: slo.NewTally(f.Promises.Config(), f.Name, f.Zone, time.Now().UnixNano())}
 	for region, zones := range f.Zones.Regions {
 		for _, zone := range zones {
 			p.zones[zone] = region
@@ -39,8 +39,8 @@
 	}
 	core.Time(p.timed)
 	say, take := l.Say, l.Take
-	l.Say = func() link.Said { s := say(); p.say(&s); return s }
-	l.Take = func(t link.Told) { take(t); p.take(t.Promised) }
+	l.Say = func() agentapi.Said { s := say(); p.say(&s); return s }
+	l.Take = func(t agentapi.Told) { take(t); p.take(t.Promised) }
 }
 
 func (p *promises) timed(contract, server string, took time.Duration) {
@@ -49,7 +49,7 @@
 	}
 }
 
-func (p *promises) over(s *promise.Sample) {
+func (p *promises) over(s *slo.Sample) {
 	if s == nil {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // say tells what was measured in the parts of time that are over.
-func (p *promises) say(s *link.Said) {
+func (p *promises) say(s *agentapi.Said) {
 	at := make(map[string]string, len(s.Servers))
 	for _, hop := range s.Servers {
 		if region, ok := p.zones[hop.Zone]; ok {
@@ -78,14 +78,14 @@
 
 // take goes by other contracts from now on. Those on messages are not counted: the node
 // passes messages on without knowing which answers which.
-func (p *promises) take(told *link.Promised) {
+func (p *promises) take(told *agentapi.Promised) {
 	if told == nil {
 		return
 	}
-	s := promise.State{Version: told.Version}
+	s := slo.State{Version: told.Version}
 	for _, c := range told.Contracts {
 		if !c.Messages {
-			s.Contracts = append(s.Contracts, promise.Contract{Name: c.Name, Priority: c.Priority})
+			s.Contracts = append(s.Contracts, slo.Contract{Name: c.Name, Priority: c.Priority})
 		}
 	}
 	p.core.Inside(func(time.Duration) {
--- a/cmd/coralrelay/reload.go
+++ b/cmd/coralrelay/reload.go
@@ -6,7 +6,7 @@
 	"os"
 
 	"coralrelay/internal/logs"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 // reload does what is given on each hang-up, until ctx ends.
@@ -24,11 +24,11 @@
 }
 
 // reloadOwn reads the operator's file again, if there is one.
-func reloadOwn(own operator.File, path string, r *resumption) operator.File {
+func reloadOwn(own operatorconfig.File, path string, r *tokenResumption) operatorconfig.File {
 	if path == "" {
 		return own
 	}
-	next, err := operator.Load(path)
+	next, err := operatorconfig.Load(path)
 	if err != nil {
 		slog.Error("reload: the operator's old file stays", "err", err)
 		return own
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // process is the node's program, started as the platform does.
@@ -124,8 +124,8 @@
 // names is a discovery that names one next hop.
 func names(t *testing.T, hop string) string {
 	t.Helper()
-	r := standin.NewRoster()
-	r.Set("s1", standin.Active, time.Time{}, map[string]string{"n0": hop})
+	r := fake.NewRoster()
+	r.Set("s1", fake.Active, time.Time{}, map[string]string{"n0": hop})
 	addr, err := r.Listen("n0")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -9,21 +9,21 @@
 	"sync"
 
 	"coralrelay/internal/keyfile"
-	"coralrelay/internal/ledger"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/session"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/replayguard"
+	"coralrelay/internal/resumption"
 	"coralrelay/internal/store"
 )
 
 // resumption is moving with a resume token, where it is switched on; nil where it
 // is not.
-type resumption struct {
-	service  *ledger.Service
-	sessions session.Sessions
+type tokenResumption struct {
+	service  *replayguard.Service
+	sessions resumption.Sessions
 }
 
 // startResume starts it, if the operator's file says so.
-func startResume(ctx context.Context, parts *sync.WaitGroup, name string, o operator.Resume) (*resumption, error) {
+func startResume(ctx context.Context, parts *sync.WaitGroup, name string, o operatorconfig.Resume) (*tokenResumption, error) {
 	if !o.Enabled {
 		return nil, nil
 	}
@@ -34,40 +34,40 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := ledger.Open(ledger.Options{Dir: o.Ledger.Dir, Records: o.Ledger.Records, Skew: o.Skew.Duration})
+	l, err := replayguard.Open(replayguard.Options{Dir: o.Ledger.Dir, Records: o.Ledger.Records, Skew: o.Skew.Duration})
 	switch {
 	case errors.Is(err, store.ErrHeld): // two nodes with one folder would never do
 		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
 	case err != nil:
 		// A disk that is full or read-only must not keep the node from serving.
 		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
-		l = ledger.Broke()
+		l = replayguard.Broke()
 	}
-	s := ledger.NewService(name, l, terms, o.Ledger.Peers)
+	s := replayguard.NewService(name, l, terms, o.Ledger.Peers)
 	if o.Ledger.Listen != "" {
 		listener, err := net.Listen("tcp", o.Ledger.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("resume.ledger.listen: %w", err)
 		}
-		answers := &ledger.Server{Name: name, Ledger: l, Ring: s.Ring}
+		answers := &replayguard.Server{Name: name, Ledger: l, Ring: s.Ring}
 		parts.Go(func() { _ = answers.Serve(ctx, listener) })
 	}
 	parts.Go(func() { l.Run(ctx) })
 	parts.Go(func() { s.Run(ctx) })
 	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.Kept(), "survives", l.Stays, "peers", len(o.Ledger.Peers))
-	return &resumption{service: s, sessions: session.Sessions{Tokens: s}}, nil
+	return &tokenResumption{service: s, sessions: resumption.Sessions{Tokens: s}}, nil
 }
 
-func terms(o operator.Resume) (ledger.Terms, error) {
+func terms(o operatorconfig.Resume) (replayguard.Terms, error) {
 	ring, err := keyfile.Load(o.Keys)
 	if err != nil {
-		return ledger.Terms{}, fmt.Errorf("resume.keys: %w", err)
+		return replayguard.Terms{}, fmt.Errorf("resume.keys: %w", err)
 	}
-	return ledger.Terms{Ring: ring, Life: o.Life.Duration, Skew: o.Skew.Duration, Wait: o.Wait.Duration}, nil
+	return replayguard.Terms{Ring: ring, Life: o.Life.Duration, Skew: o.Skew.Duration, Wait: o.Wait.Duration}, nil
 }
 
 // change takes other keys and times.
-func (r *resumption) change(o operator.Resume) error {
+func (r *tokenResumption) change(o operatorconfig.Resume) error {
 	if r == nil || !o.Enabled {
 		return nil
 	}
@@ -79,7 +79,7 @@
 }
 
 // leave tells that the node is about to end.
-func (r *resumption) leave() {
+func (r *tokenResumption) leave() {
 	if r != nil {
 		r.service.Leave()
 	}
--- a/cmd/coralrelay/resume_test.go
+++ b/cmd/coralrelay/resume_test.go
@@ -15,7 +15,7 @@
 
 	"coralrelay/internal/config"
 	"coralrelay/internal/keyfile"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 // resumable is a feed server with resumable streams: what it is asked goes to
@@ -55,7 +55,7 @@
 }
 
 // resumeNode starts a node with the operator's file, before a resumable next hop.
-func resumeNode(t *testing.T, own operator.File) (addr string, hop resumable, terminate context.CancelFunc) {
+func resumeNode(t *testing.T, own operatorconfig.File) (addr string, hop resumable, terminate context.CancelFunc) {
 	t.Helper()
 	hop = resumable{make(chan string, 8), make(chan string, 8), new(atomic.Bool)}
 	discovery := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
@@ -74,9 +74,9 @@
 	return addr, hop, cancel
 }
 
-func switchedOn(t *testing.T) operator.File {
+func switchedOn(t *testing.T) operatorconfig.File {
 	t.Helper()
-	own := operator.Default()
+	own := operatorconfig.Default()
 	own.Resume.Enabled, own.Resume.Keys = true, filepath.Join(t.TempDir(), "keys")
 	own.Resume.Ledger.Dir = t.TempDir()
 	if _, _, err := keyfile.New(own.Resume.Keys, time.Now().Add(-time.Minute)); err != nil {
@@ -189,11 +189,11 @@
 func TestOffChangesNothing(t *testing.T) {
 	on := switchedOn(t)
 	for name, c := range map[string]struct {
-		own  operator.File
+		own  operatorconfig.File
 		list string
 		up   string
 	}{
-		"off":       {operator.Default(), "c=feed,d=1200,rs=TOKEN,g=5c", "UP r1 rs=1"},
+		"off":       {operatorconfig.Default(), "c=feed,d=1200,rs=TOKEN,g=5c", "UP r1 rs=1"},
 		"not asked": {on, "c=feed,d=1200,g=5c", "UP r1"},
 		"old hop":   {on, "c=feed,d=1200,g=5c,rs=1", "UP r1"},
 	} {
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -7,22 +7,22 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/metrics"
 	platform "coralrelay/internal/settings"
+	"coralrelay/internal/upstream"
 )
 
 // live is the platform's configuration that is in force, and who goes by it.
 type live struct {
-	core   *decide.Core
-	hops   *nexthop.Hops
-	server *caller.Server
-	watch  *roster.Watch
-	book   *figures.Book
+	core   *dispatch.Core
+	hops   *upstream.Hops
+	server *downstream.Server
+	watch  *discovery.Watch
+	book   *metrics.Book
 
 	mu      sync.Mutex
 	current config.Config
@@ -86,6 +86,6 @@
 }
 
 // hopLimits are the bounds that settings set for what is spent on a next hop.
-func hopLimits(s balance.Settings) nexthop.Limits {
-	return nexthop.Limits{Connect: s.Limits.ConnectTimeout, Probe: probeWait, Drain: s.Rules.DrainGrace}
+func hopLimits(s balance.Settings) upstream.Limits {
+	return upstream.Limits{Connect: s.Limits.ConnectTimeout, Probe: probeWait, Drain: s.Rules.DrainGrace}
 }
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
+	"coralrelay/internal/dispatch"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/route"
 	"coralrelay/internal/tally"
 )
@@ -26,11 +26,11 @@
 // routes are the operators' routes and the rights on them, as the agent tells them. It is a
 // decide.Router. What the agent says is taken on the link's goroutine, and set for the Core's.
 type routes struct {
-	core *decide.Core
+	core *dispatch.Core
 	half time.Duration // half of an epoch
 
 	// Of the link's goroutine.
-	gathered link.Gathering
+	gathered agentapi.Gathering
 	table    *route.Table // nil for none
 	word     int64        // half epoch that the agent was last told of
 	bad      tally.Tally
@@ -45,7 +45,7 @@
 }
 
 // newRoutes returns routes without a table: all goes anywhere.
-func newRoutes(core *decide.Core, cfg account.DealConfig) (*routes, error) {
+func newRoutes(core *dispatch.Core, cfg account.DealConfig) (*routes, error) {
 	ledger, err := route.NewLedger(cfg)
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 
 func (r *routes) now() time.Duration { return r.core.Now() + r.ahead }
 
-func (r *routes) find(q *decide.Request) *route.Route {
+func (r *routes) find(q *dispatch.Request) *route.Route {
 	if r.inForce == nil {
 		return nil
 	}
@@ -67,7 +67,7 @@
 }
 
 // Admit implements decide.Router.
-func (r *routes) Admit(q *decide.Request) (*route.Route, *balance.Bound) {
+func (r *routes) Admit(q *dispatch.Request) (*route.Route, *balance.Bound) {
 	found := r.find(q)
 	if found == nil {
 		return nil, nil
@@ -80,7 +80,7 @@
 }
 
 // Adopt implements decide.Router.
-func (r *routes) Adopt(q *decide.Request) (*route.Route, *balance.Bound) {
+func (r *routes) Adopt(q *dispatch.Request) (*route.Route, *balance.Bound) {
 	found := r.find(q)
 	if found == nil {
 		return nil, nil
@@ -98,7 +98,7 @@
 func (r *routes) Closed(on *route.Route) { r.ledger.Closed(on) }
 
 // say adds to what the agent is told: once in a half epoch what was used.
-func (r *routes) say(s *link.Said) {
+func (r *routes) say(s *agentapi.Said) {
 	if r.table != nil {
 		s.Table = r.table.Index
 	}
@@ -136,7 +136,7 @@
 
 // take takes what the agent answers. A table that can't be used leaves the one in force, and
 // is asked for anew, whole.
-func (r *routes) take(t *link.Told) {
+func (r *routes) take(t *agentapi.Told) {
 	if w, ok := r.gathered.Table(t); ok {
 		r.compile(w)
 	}
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -12,42 +12,42 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
+	"coralrelay/internal/dispatch"
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/agent"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/record"
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/replog"
 )
 
 // writ is a record whose state the test sets.
-type writ struct{ view atomic.Pointer[record.View] }
+type writ struct{ view atomic.Pointer[replog.View] }
 
-func (h *writ) View() record.View        { return *h.view.Load() }
+func (h *writ) View() replog.View        { return *h.view.Load() }
 func (h *writ) Changed() <-chan struct{} { return nil }
 func (h *writ) Leads() bool              { return false }
-func (h *writ) Propose(context.Context, entry.Entry) (o entry.Outcome, err error) {
-	return o, record.ErrUnknown
+func (h *writ) Propose(context.Context, logentry.Entry) (o logentry.Outcome, err error) {
+	return o, replog.ErrUnknown
 }
 
 // asker is an item whose answer is one word.
 type asker struct {
-	decide.Request
+	dispatch.Request
 	answer chan string
 }
 
-func (f *asker) Asked() *decide.Request { return &f.Request }
-func (f *asker) Move()                  {}
-func (f *asker) Fail() bool             { f.answer <- "failed"; return true }
+func (f *asker) Asked() *dispatch.Request { return &f.Request }
+func (f *asker) Move()                    {}
+func (f *asker) Fail() bool               { f.answer <- "failed"; return true }
 func (f *asker) Refuse(pause time.Duration) bool {
 	f.answer <- map[bool]string{true: "busy with a pause", false: "busy"}[pause > 0]
 	return true
 }
 
 // sound is next hops that are nearly empty and take all, and a roster that never answers.
-type sound struct{ core *decide.Core }
+type sound struct{ core *dispatch.Core }
 
 func (s *sound) Subscribe() {}
 func (s *sound) Probe(server string) {
@@ -55,7 +55,7 @@
 	load.X0, load.Inflight = 0.05, 1e5
 	go s.core.Probed(server, balance.OK, time.Millisecond, load)
 }
-func (s *sound) Start(x decide.Item, attempt int, server string, _ time.Time) {
+func (s *sound) Start(x dispatch.Item, attempt int, server string, _ time.Time) {
 	go s.core.BranchUp(x, attempt, server, time.Millisecond)
 	x.(*asker).answer <- server
 }
@@ -69,22 +69,22 @@
 		defer cancel()
 		clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 		deal := account.DealConfig{Epoch: time.Second, Hold: 5 * time.Second}
-		tree := func(rate, open float64) *entry.State {
+		tree := func(rate, open float64) *logentry.State {
 			free := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1}
 			top := free
 			top.Rate, top.Open = rate, open
 			r := &account.Route{Name: "r", Owner: "acme", Match: account.Match{Tenant: "acme"}, Parts: []account.Part{{Zone: "b", Percent: 100}}, Limits: free}
-			return &entry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
+			return &logentry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
 		}
 		log, state := &writ{}, tree(0, -1)
-		set := func() { log.view.Store(&record.View{State: state, Fresh: true, Heard: time.Now()}) }
+		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, Heard: time.Now()}) }
 		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
-			Member: member.NewAgent("n1", share.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, share.Guards{}, clock)})
+			Member: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, quota.Guards{}, clock)})
 		go a.Run(ctx)
 
 		hops := &sound{}
-		core, err := decide.New(decide.NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
+		core, err := dispatch.New(dispatch.NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
 			Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
 			Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
 			Limits:  balance.Limits{Probes: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, hops, hops)
@@ -100,20 +100,20 @@
 		go core.Run(ctx)
 
 		exchange := func() {
-			said := link.Said{Spending: core.Spending()}
+			said := agentapi.Said{Spending: core.Spending()}
 			node.say(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
 				t.Fatal(err)
 			}
-			heard := link.Said{}
+			heard := agentapi.Said{}
 			if err := json.Unmarshal(raw, &heard); err != nil {
 				t.Fatal(err)
 			}
 			if raw, err = json.Marshal(a.Answer(heard)); err != nil {
 				t.Fatal(err)
 			}
-			told := link.Told{}
+			told := agentapi.Told{}
 			if err := json.Unmarshal(raw, &told); err != nil {
 				t.Fatal(err)
 			}
@@ -124,7 +124,7 @@
 			got := map[string]int{}
 			for range n {
 				number++
-				f := &asker{Request: decide.Request{ID: fmt.Sprint(number), Class: "feed", Tenant: tenant, Deadline: time.Now().Add(time.Second)}, answer: make(chan string, 1)}
+				f := &asker{Request: dispatch.Request{ID: fmt.Sprint(number), Class: "feed", Tenant: tenant, Deadline: time.Now().Add(time.Second)}, answer: make(chan string, 1)}
 				began := time.Now()
 				core.Submit(f, hops)
 				word := <-f.answer
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -13,16 +13,16 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/beside"
-	"coralrelay/internal/caller"
 	"coralrelay/internal/config"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/handover"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/hotrestart"
+	"coralrelay/internal/instancelock"
+	"coralrelay/internal/metrics"
+	"coralrelay/internal/operatorconfig"
 	platform "coralrelay/internal/settings"
+	"coralrelay/internal/upstream"
 )
 
 const (
@@ -43,10 +43,10 @@
 
 // serve runs the node until terminate ends, and then lets it end in good order.
 // On each hang-up the configuration is read again, also while the node ends.
-func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operator.File, path string) error {
+func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operatorconfig.File, path string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	var place *beside.Place
+	var place *instancelock.Place
 	defer func() { place.Close() }() // when all is over: the process beside this one goes by it
 	defer parts.Wait()
 	defer cancel()
@@ -62,10 +62,10 @@
 	c.Settings = platform.Watched(c.Settings)
 	// A node's start is one of many, a successor's its own.
 	c.Settings.AskNow = c.Settings.AskNow || place.Lives()
-	hops := nexthop.New(ctx, hopLimits(c.Settings))
+	hops := upstream.New(ctx, hopLimits(c.Settings))
 	lists := &fleet{hops: hops, known: make(chan struct{})}
-	watch := roster.New(c.Discovery, lists)
-	core, err := decide.New(decide.NewClock(), c.Seed, c.Settings, hops, watch)
+	watch := discovery.New(c.Discovery, lists)
+	core, err := dispatch.New(dispatch.NewClock(), c.Seed, c.Settings, hops, watch)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
@@ -75,14 +75,14 @@
 		return err
 	}
 	room := shareOut(c, own, place)
-	limits := caller.Limits{Sockets: room.callers(len(c.Known.Entries)), Pause: pause(c.Settings.Limits)}
+	limits := downstream.Limits{Sockets: room.callers(len(c.Known.Entries)), Pause: pause(c.Settings.Limits)}
 	other := &neighbour{place: place}
 	if place != nil {
 		limits.Elsewhere = other.elsewhere
 	}
-	server := caller.New(core, hops, limits)
+	server := downstream.New(core, hops, limits)
 	lists.listed = func(n int) { server.Limit(room.callers(n)) }
-	book := &figures.Book{}
+	book := &metrics.Book{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
 	server.Figures = book
@@ -110,7 +110,7 @@
 		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
-		if err := handover.Serve(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
+		if err := hotrestart.Serve(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
 	}
@@ -140,7 +140,7 @@
 }
 
 // leave empties the node for good, within the longest deadline and a little more.
-func leave(server *caller.Server, core *decide.Core, listener net.Listener, place *beside.Place, longest time.Duration) {
+func leave(server *downstream.Server, core *dispatch.Core, listener net.Listener, place *instancelock.Place, longest time.Duration) {
 	begun := time.Now()
 	place.Serves(false)
 	succeeded := place.Succeeded() // one that is not ready, or leaves too, would leave clients to nobody
@@ -161,9 +161,9 @@
 }
 
 // ending is how a planned restart goes where the longest deadline is so long.
-func ending(begun time.Time, longest time.Duration) caller.Plan {
+func ending(begun time.Time, longest time.Duration) downstream.Plan {
 	end := begun.Add(longest + afterDrain)
-	return caller.Plan{Refuse: begun, From: begun.Add(max(longest/2, arriving)), Until: end.Add(-3 * afterDrain / 4), End: end}
+	return downstream.Plan{Refuse: begun, From: begun.Add(max(longest/2, arriving)), Until: end.Add(-3 * afterDrain / 4), End: end}
 }
 
 // pause is asked of callers that are refused unseen, where the settings allow it.
--- a/cmd/coralrelay/udp.go
+++ b/cmd/coralrelay/udp.go
@@ -9,14 +9,14 @@
 	"sync"
 
 	"coralrelay/internal/config"
-	"coralrelay/internal/flow"
-	"coralrelay/internal/operator"
+	"coralrelay/internal/flowtable"
+	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/udp"
 )
 
 // startUDP starts the front for datagrams, if the operator's file names an address
 // for it; else it returns nil.
-func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operator.UDP, core udp.Decider, hops udp.Hops) (udp.Fronts, error) {
+func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operatorconfig.UDP, core udp.Decider, hops udp.Hops) (udp.Fronts, error) {
 	if o.Listen == "" {
 		return nil, nil
 	}
@@ -33,16 +33,16 @@
 	if o.Class != "" && class.Name != o.Class {
 		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", o.Class)
 	}
-	policy := map[string]flow.Policy{"reserve": flow.Reserve, "refuse": flow.RefuseNew, "idle": flow.EvictIdle}[o.Policy]
+	policy := map[string]flowtable.Policy{"reserve": flowtable.Reserve, "refuse": flowtable.RefuseNew, "idle": flowtable.EvictIdle}[o.Policy]
 	all, err := udp.Open(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: o.Sockets, Shared: o.Mode == "shared", Proxy: o.Proxy,
-		Table: flow.Options{Entries: o.Flows, Idle: o.Idle.Duration, Policy: policy, Share: o.Reserve,
+		Table: flowtable.Options{Entries: o.Flows, Idle: o.Idle.Duration, Policy: policy, Share: o.Reserve,
 			Settled: o.Settled, After: o.After.Duration},
-		Sources: flow.SourceOptions{Slots: o.Sources.Slots, Rate: o.Sources.Rate, Burst: o.Sources.Burst},
-		Queue:   flow.Bounds{Count: o.Queue.Flow, Bytes: o.Queue.FlowBytes},
-		Room:    flow.Room{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
-		New:     flow.Pace{Rate: o.New.Rate, Burst: o.New.Burst, Newest: true},
-		Silence: flow.SilenceOptions{After: o.Silence.After.Duration, Datagrams: o.Silence.Datagrams}, Echo: o.Silence.Echo,
-		Again: flow.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, runtime.GOMAXPROCS(0), core, hops)
+		Sources: flowtable.SourceOptions{Slots: o.Sources.Slots, Rate: o.Sources.Rate, Burst: o.Sources.Burst},
+		Queue:   flowtable.Bounds{Count: o.Queue.Flow, Bytes: o.Queue.FlowBytes},
+		Room:    flowtable.Room{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
+		New:     flowtable.Pace{Rate: o.New.Rate, Burst: o.New.Burst, Newest: true},
+		Silence: flowtable.SilenceOptions{After: o.Silence.After.Duration, Datagrams: o.Silence.Datagrams}, Echo: o.Silence.Echo,
+		Again: flowtable.Pace{Rate: o.Again.Rate, Burst: o.Again.Burst}}, runtime.GOMAXPROCS(0), core, hops)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
--- a/cmd/coralrig/accounts.go
+++ b/cmd/coralscenario/accounts.go
@@ -5,7 +5,7 @@
 	"errors"
 	"os"
 
-	"coralrelay/internal/rig/accounts"
+	"coralrelay/internal/scenario/accounts"
 )
 
 type accountsCmd struct {
--- a/cmd/coralrig/main.go
+++ b/cmd/coralscenario/main.go
@@ -1,4 +1,4 @@
-// Command coralrig plays scenes on loopback: real nodes, stand-ins for everyone
+// Command coralscenario plays scenes on loopback: real nodes, stand-ins for everyone
 // else, faults by script, and checks of the rules from the stand-ins' side.
 package main
 
@@ -17,9 +17,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"coralrelay/internal/rig"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/rig/zones"
+	"coralrelay/internal/scenario"
+	"coralrelay/internal/scenario/testbed"
+	"coralrelay/internal/scenario/zones"
 )
 
 // The exit codes: a rule broke or a bound was missed; it could not run.
@@ -75,9 +75,9 @@
 
 func (c *resumeCmd) Run(ctx context.Context, top *cli) error {
 	if c.ListSabotage {
-		return list(rig.ResumeSabotages)
+		return list(scenario.ResumeSabotages)
 	}
-	r, err := rig.Resume(ctx, rig.ResumeOptions{Seed: c.Seed, Moves: c.Moves, Nodes: c.Nodes, Servers: c.Servers,
+	r, err := scenario.Resume(ctx, scenario.ResumeOptions{Seed: c.Seed, Moves: c.Moves, Nodes: c.Nodes, Servers: c.Servers,
 		Clients: c.Clients, Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
@@ -99,13 +99,13 @@
 
 func (c *udpCmd) Run(ctx context.Context, top *cli) error {
 	if c.ListSabotage {
-		return list(rig.UDPSabotages)
+		return list(scenario.UDPSabotages)
 	}
-	play := rig.UDP
+	play := scenario.UDP
 	if c.Speed {
-		play = rig.UDPSpeed
+		play = scenario.UDPSpeed
 	}
-	r, err := play(ctx, rig.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Steady: max(c.Steady, 1), Shared: c.Shared, Cores: c.Cores, Binary: top.Node,
+	r, err := play(ctx, scenario.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Steady: max(c.Steady, 1), Shared: c.Shared, Cores: c.Cores, Binary: top.Node,
 		Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
@@ -124,12 +124,12 @@
 
 func (c *fleetCmd) Run(ctx context.Context, top *cli) error {
 	if c.ListSabotage {
-		return list(rig.FleetSabotages)
+		return list(scenario.FleetSabotages)
 	}
 	if c.Nodes < 5 || c.Nodes > 9 || c.Servers < 6 || c.Servers > 40 || !(c.Rate >= 20 && c.Rate <= 1000) {
 		return errors.New("5 to 9 nodes, 6 to 40 servers and a rate of 20 to 1000 are wanted")
 	}
-	r, err := rig.Fleet(ctx, rig.FleetOptions{Seed: c.Seed, Nodes: c.Nodes, Servers: c.Servers, Rate: c.Rate, Alone: c.Alone, Steps: c.Steps,
+	r, err := scenario.Fleet(ctx, scenario.FleetOptions{Seed: c.Seed, Nodes: c.Nodes, Servers: c.Servers, Rate: c.Rate, Alone: c.Alone, Steps: c.Steps,
 		Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
 	if err != nil {
 		return err
@@ -167,14 +167,14 @@
 	To     string `arg:""`
 }
 
-func (c *bareCmd) Run(ctx context.Context) error { return rig.Bare(ctx, c.Listen, c.To) }
+func (c *bareCmd) Run(ctx context.Context) error { return scenario.Bare(ctx, c.Listen, c.To) }
 
 type demoCmd struct {
 	Seconds int `default:"10" help:"How long."`
 }
 
 func (c *demoCmd) Run(ctx context.Context, top *cli) error {
-	return rig.Demo(ctx, rig.DemoOptions{Binary: top.Node, Seconds: c.Seconds, Out: os.Stdout})
+	return scenario.Demo(ctx, scenario.DemoOptions{Binary: top.Node, Seconds: c.Seconds, Out: os.Stdout})
 }
 
 func main() {
@@ -182,7 +182,7 @@
 	defer stop()
 	slog.SetLogLoggerLevel(slog.LevelError) // what parties in this process say of the scene's faults
 	var c cli
-	k := kong.Parse(&c, kong.Name("coralrig"), kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)),
+	k := kong.Parse(&c, kong.Name("coralscenario"), kong.UsageOnError(), kong.BindTo(ctx, (*context.Context)(nil)),
 		kong.Description("Play scenes against real nodes, with stand-ins on loopback for everyone else."),
 		kong.Exit(func(code int) {
 			if code != 0 {
@@ -196,11 +196,11 @@
 		}
 	}
 	switch err := k.Run(&c); {
-	case errors.Is(err, world.ErrBroken):
+	case errors.Is(err, testbed.ErrBroken):
 		stop()
 		os.Exit(broken)
 	case err != nil:
-		fmt.Fprintln(os.Stderr, "coralrig:", err)
+		fmt.Fprintln(os.Stderr, "coralscenario:", err)
 		os.Exit(couldNot)
 	}
 }
--- a/cmd/drill/main.go
+++ b/cmd/simadapter/main.go
@@ -1,4 +1,4 @@
-// Command drill hosts instances of the balancer on the simulator's wire: it
+// Command simadapter hosts instances of the balancer on the simulator's wire: it
 // reads batches of events from standard input and writes the actions to
 // standard output.
 package main
@@ -12,14 +12,14 @@
 	"runtime/debug"
 
 	"coralrelay/balance"
-	"coralrelay/internal/wire"
+	"coralrelay/internal/simproto"
 )
 
 func main() {
 	// The heap is small and short-lived; fewer collections leave the CPU to decisions.
 	debug.SetGCPercent(400)
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
@@ -34,9 +34,9 @@
 
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
-	reader, writer := wire.NewReader(in), bufio.NewWriter(out)
+	reader, writer := simproto.NewReader(in), bufio.NewWriter(out)
 	h := host{instances: map[int]*balance.Balancer{}}
-	var batch wire.Batch
+	var batch simproto.Batch
 	for {
 		switch err := reader.Read(&batch); {
 		case errors.Is(err, io.EOF):
@@ -50,7 +50,7 @@
 				return err
 			}
 		}
-		h.reply = wire.AppendDone(h.reply, batch.Round)
+		h.reply = simproto.AppendDone(h.reply, batch.Round)
 		if _, err := writer.Write(h.reply); err != nil {
 			return err
 		}
@@ -61,7 +61,7 @@
 }
 
 // deliver hands one delivery to its instance and appends what it answers.
-func (h *host) deliver(batch *wire.Batch, d *wire.Delivery) error {
+func (h *host) deliver(batch *simproto.Batch, d *simproto.Delivery) error {
 	switch {
 	case d.Start != nil:
 		h.start(d)
@@ -82,7 +82,7 @@
 }
 
 // start makes an instance. Settings that it can't work with are its fault line.
-func (h *host) start(d *wire.Delivery) {
+func (h *host) start(d *simproto.Delivery) {
 	h.instances[d.Instance] = nil
 	err := d.Start.Err
 	if err == nil {
@@ -92,19 +92,19 @@
 			return
 		}
 	}
-	h.reply = wire.AppendFault(h.reply, d.Instance, err.Error())
+	h.reply = simproto.AppendFault(h.reply, d.Instance, err.Error())
 }
 
 // handle runs one event; a panic becomes the instance's fault line.
-func (h *host) handle(batch *wire.Batch, d *wire.Delivery, b *balance.Balancer) {
+func (h *host) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
 	defer func() {
 		if p := recover(); p != nil {
-			h.reply = wire.AppendFault(h.reply, d.Instance, fmt.Sprint(p))
-			fmt.Fprintf(os.Stderr, "drill: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
+			h.reply = simproto.AppendFault(h.reply, d.Instance, fmt.Sprint(p))
+			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
 		}
 	}()
 	h.actions = b.Handle(batch.Now, d.Event, h.actions[:0])
 	for _, a := range h.actions {
-		h.reply = wire.AppendAction(h.reply, d.Instance, a)
+		h.reply = simproto.AppendAction(h.reply, d.Instance, a)
 	}
 }
--- a/deploy/operator.cue
+++ b/deploy/operator.cue
@@ -48,7 +48,7 @@
 
 // What all nodes share, through an agent beside each: docs/operate/fleet-limits.md.
 fleet: {
-	agent:     "" // "127.0.0.1:7272": where 'coralfleet' answers its node
+	agent:     "" // "127.0.0.1:7272": where 'coralagent' answers its node
 	name:      "" // "n1": no other member may have it
 	bind:      "" // "10.0.0.4:7946": gossip, TCP and UDP
 	advertise: "" // where the others reach it, if elsewhere
@@ -64,7 +64,7 @@
 
 	// The log that all members hold alike: docs/operate/record.md.
 	record: {
-		dir:       "" // "/var/lib/coralfleet": this member's own
+		dir:       "" // "/var/lib/coralagent": this member's own
 		bind:      "" // "10.0.0.4:7373", TCP
 		advertise: "" // where the others reach it, if elsewhere
 		voters: [] // 3 or 5, the same everywhere: [{name: "n1", addr: "10.0.0.4:7373", zone: "a"}, ...]
--- a/internal/mgmt/mgmt.go
+++ b/internal/admin/mgmt.go
@@ -1,7 +1,7 @@
 // Package mgmt is the operators' front: a listener of its own, one line in, one
 // answer out, and the connection's end. It decides nothing and never waits for the
 // Core, the fleet or another caller.
-package mgmt
+package admin
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 	"coralrelay/internal/tally"
 )
 
@@ -106,7 +106,7 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	l := leg.New(conn)
+	l := bufconn.New(conn)
 	text, err := l.NextText()
 	s.spoken(conn)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/admin/mgmt_test.go
@@ -1,4 +1,4 @@
-package mgmt
+package admin
 
 import (
 	"bufio"
--- a/internal/leg/leg.go
+++ b/internal/bufconn/leg.go
@@ -1,7 +1,7 @@
 // Package leg wraps one connection of a transaction: the caller leg or the leg
 // to a next hop. It stands on net/textproto; its buffers have one size, the
 // longest line, and come from one pool.
-package leg
+package bufconn
 
 import (
 	"bufio"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,7 +11,7 @@
 	"strconv"
 
 	"coralrelay/balance"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
 	"coralrelay/internal/settings"
 )
 
@@ -24,7 +24,7 @@
 	Inherited int    // the descriptor of the listening socket for clients; 0 if there is none
 	Seed      uint64
 	Limits    Limits
-	Known     roster.Update // the list that this node had last; may be old
+	Known     discovery.Update // the list that this node had last; may be old
 	Settings  balance.Settings
 
 	keys map[string]any // the file's keys as they are nested, for a later one to be held against
@@ -136,7 +136,7 @@
 		return c, err
 	}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
-		if c.Known, err = roster.Decode(f.Known); err != nil {
+		if c.Known, err = discovery.Decode(f.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/roster/call.go
+++ b/internal/discovery/call.go
@@ -1,4 +1,4 @@
-package roster
+package discovery
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 const (
@@ -107,7 +107,7 @@
 		return err
 	}
 	live := &live{Conn: conn}
-	l := leg.New(live)
+	l := bufconn.New(live)
 	defer l.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -134,7 +134,7 @@
 }
 
 // ask sends the request and returns the answer's body.
-func (c *call) ask(l *leg.Leg, deadline time.Time) (io.Reader, error) {
+func (c *call) ask(l *bufconn.Leg, deadline time.Time) (io.Reader, error) {
 	if err := l.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
--- a/internal/roster/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -1,4 +1,4 @@
-package roster
+package discovery
 
 import (
 	"bufio"
--- a/internal/roster/entry.go
+++ b/internal/discovery/entry.go
@@ -1,5 +1,5 @@
 // Package roster follows discovery's list of next hops.
-package roster
+package discovery
 
 import (
 	"encoding/json"
--- a/internal/decide/branches.go
+++ b/internal/dispatch/branches.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // What becomes of the branches that the module has asked for.
 
--- a/internal/decide/decide.go
+++ b/internal/dispatch/decide.go
@@ -1,7 +1,7 @@
 // Package decide gives the decision module its place in the node: one goroutine
 // owns the Balancer, takes events from a channel and carries the actions out.
 // It never waits for a socket. Nothing is decided here.
-package decide
+package dispatch
 
 import (
 	"context"
--- a/internal/decide/items.go
+++ b/internal/dispatch/items.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // How a front's items reach the module, and how they end.
 
--- a/internal/decide/module.go
+++ b/internal/dispatch/module.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // What is told to the module and asked of it besides items and next hops.
 
--- a/internal/decide/roster.go
+++ b/internal/dispatch/roster.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // What the roster says of the next hops.
 
--- a/internal/decide/route.go
+++ b/internal/dispatch/route.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // How operators' routes bound items. Which route, and whether there is room on it, is the
 // Router's word; the module draws within it, or refuses.
--- a/internal/decide/trace.go
+++ b/internal/dispatch/trace.go
@@ -1,4 +1,4 @@
-package decide
+package dispatch
 
 // One debug line for each transaction: its branches, where they went and how it ended.
 
--- a/internal/caller/caller.go
+++ b/internal/downstream/caller.go
@@ -1,6 +1,6 @@
 // Package caller is the clients' side: it listens, answers PING, reads first
 // lines and gives each caller leg to its transaction.
-package caller
+package downstream
 
 import (
 	"container/list"
@@ -9,24 +9,24 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/line"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/metrics"
+	"coralrelay/internal/proxy"
 	"coralrelay/internal/tally"
 )
 
 // Decider takes transactions; each is then owed one final answer. *decide.Core does.
 type Decider interface {
-	exchange.Watcher
-	Submit(item decide.Item, b decide.Branches)
-	Adopt(item decide.Item, server string) bool // of one that stands there already
+	proxy.Watcher
+	Submit(item dispatch.Item, b dispatch.Branches)
+	Adopt(item dispatch.Item, server string) bool // of one that stands there already
 }
 
 // Continuities gives a caller that asks for it what lets it go on where it was
 // when it is moved; nil if nothing does.
 type Continuities interface {
-	Continuity(o *line.Open) exchange.Continuity
+	Continuity(o *lineproto.Open) proxy.Continuity
 }
 
 // Limits bound what callers may use.
@@ -43,10 +43,10 @@
 // Server serves callers.
 type Server struct {
 	Continuities Continuities  // nil where it is not switched on; set before Serve
-	Figures      *figures.Book // nil if nobody asks; set before Serve
+	Figures      *metrics.Book // nil if nobody asks; set before Serve
 
 	decider  Decider
-	branches decide.Branches // to next hops of the line protocol
+	branches dispatch.Branches // to next hops of the line protocol
 	limits   Limits
 	pause    atomic.Int64 // limits.Pause, which may change
 	bad      tally.Tally
@@ -54,14 +54,14 @@
 	freed    chan struct{} // a leg has ended: there may be room for another
 
 	mu       sync.Mutex
-	accepts  bool                           // Serve runs
-	leaving  bool                           // the node is being emptied
-	ended    bool                           // for good: nothing is taken any more
-	over     bool                           // and newcomers are seen off unread
-	refuseAt time.Time                      // while it is emptied: newcomers get the busy answer from then on
-	end      time.Time                      // of the plan by which it is emptied for good
-	rejoined func()                         // ends the emptying that can be ended; nil without one
-	running  map[*exchange.Transaction]bool // whether the decider has it
+	accepts  bool                        // Serve runs
+	leaving  bool                        // the node is being emptied
+	ended    bool                        // for good: nothing is taken any more
+	over     bool                        // and newcomers are seen off unread
+	refuseAt time.Time                   // while it is emptied: newcomers get the busy answer from then on
+	end      time.Time                   // of the plan by which it is emptied for good
+	rejoined func()                      // ends the emptying that can be ended; nil without one
+	running  map[*proxy.Transaction]bool // whether the decider has it
 	legs     map[net.Conn]struct{}
 	resting  list.List // of *visitor: have not opened anything, the oldest first
 	parting  list.List // of *visitor: have their last answer and are read out, the oldest first
@@ -70,8 +70,8 @@
 }
 
 // New returns a Server that keeps to the limits.
-func New(d Decider, b decide.Branches, l Limits) *Server {
-	s := &Server{decider: d, branches: b, limits: l, running: map[*exchange.Transaction]bool{},
+func New(d Decider, b dispatch.Branches, l Limits) *Server {
+	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Transaction]bool{},
 		legs: map[net.Conn]struct{}{}, freed: make(chan struct{}, 1)}
 	s.SetPause(l.Pause)
 	return s
@@ -103,8 +103,8 @@
 
 // Adopt goes on with what another process has handed over. If it is false the
 // connections stay the giver's.
-func (s *Server) Adopt(st exchange.Standing, caller, hop net.Conn) bool {
-	t := exchange.Inherit(st, line.Front{}, s.decider, caller, hop)
+func (s *Server) Adopt(st proxy.Standing, caller, hop net.Conn) bool {
+	t := proxy.Inherit(st, lineproto.Front{}, s.decider, caller, hop)
 	t.Figures = s.Figures.Class(st.Class)
 	s.mu.Lock()
 	ended := s.ended
--- a/internal/caller/caller_test.go
+++ b/internal/downstream/caller_test.go
@@ -1,4 +1,4 @@
-package caller
+package downstream
 
 import (
 	"bufio"
@@ -9,21 +9,21 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/proxy"
 )
 
 // decider keeps what is submitted, and refuses it.
-type decider chan *exchange.Transaction
+type decider chan *proxy.Transaction
 
-func (d decider) Submit(item decide.Item, _ decide.Branches) {
-	d <- item.(*exchange.Transaction)
+func (d decider) Submit(item dispatch.Item, _ dispatch.Branches) {
+	d <- item.(*proxy.Transaction)
 	item.Refuse(0)
 }
 
-func (decider) Adopt(decide.Item, string) bool     { return true }
-func (decider) CallerGone(decide.Item)             {}
-func (decider) Ended(decide.Item, balance.Outcome) {}
+func (decider) Adopt(dispatch.Item, string) bool     { return true }
+func (decider) CallerGone(dispatch.Item)             {}
+func (decider) Ended(dispatch.Item, balance.Outcome) {}
 
 // door is a listener that hands out what is put into it.
 type door chan net.Conn
--- a/internal/caller/drain.go
+++ b/internal/downstream/drain.go
@@ -1,10 +1,10 @@
-package caller
+package downstream
 
 import (
 	"context"
 	"time"
 
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 const (
@@ -26,7 +26,7 @@
 	End time.Time
 	// Heir is a process that goes on with what stands, and with what comes up later, in
 	// place of all moves; nil if there is none.
-	Heir exchange.Heir
+	Heir proxy.Heir
 }
 
 // Leave has the node emptied for good: what comes on callers' connections from then on gets
@@ -122,7 +122,7 @@
 
 // move asks connections to go, unless the emptying has ended: under the lock, so that
 // none goes after Rejoin has returned.
-func (s *Server) move(ctx context.Context, standing []*exchange.Transaction) {
+func (s *Server) move(ctx context.Context, standing []*proxy.Transaction) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
@@ -136,7 +136,7 @@
 // lastCall has all who rest seen off, as are those who come from now on, and gives up what
 // is not answered yet.
 func (s *Server) lastCall() {
-	var left []*exchange.Transaction
+	var left []*proxy.Transaction
 	s.mu.Lock()
 	s.over = true
 	for e := s.resting.Front(); e != nil; e = s.resting.Front() {
@@ -156,7 +156,7 @@
 // standing lists the connections that stand and were not told to move, and counts the
 // callers that have not opened anything and all other legs: also those that have their last
 // answer and are read out.
-func (s *Server) standing() (list []*exchange.Transaction, resting, others int) {
+func (s *Server) standing() (list []*proxy.Transaction, resting, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.running {
--- a/internal/caller/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -1,4 +1,4 @@
-package caller
+package downstream
 
 import (
 	"bufio"
@@ -11,32 +11,32 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/proxy"
 )
 
 // parked takes transactions and answers none. What it is told it keeps, in order.
 type parked struct {
-	taken  chan *exchange.Transaction
+	taken  chan *proxy.Transaction
 	events chan string
 	may    chan struct{} // Submit waits for it; nil for nothing
 }
 
 func newParked() *parked {
-	return &parked{taken: make(chan *exchange.Transaction, 64), events: make(chan string, 64)}
+	return &parked{taken: make(chan *proxy.Transaction, 64), events: make(chan string, 64)}
 }
 
-func (p *parked) Submit(item decide.Item, _ decide.Branches) {
-	p.taken <- item.(*exchange.Transaction)
+func (p *parked) Submit(item dispatch.Item, _ dispatch.Branches) {
+	p.taken <- item.(*proxy.Transaction)
 	if p.may != nil {
 		<-p.may
 	}
 	p.events <- "submitted " + item.Asked().ID
 }
-func (p *parked) Adopt(decide.Item, string) bool            { return true }
-func (p *parked) CallerGone(item decide.Item)               { p.events <- "gone " + item.Asked().ID }
-func (p *parked) Ended(item decide.Item, _ balance.Outcome) { p.events <- "ended " + item.Asked().ID }
+func (p *parked) Adopt(dispatch.Item, string) bool            { return true }
+func (p *parked) CallerGone(item dispatch.Item)               { p.events <- "gone " + item.Asked().ID }
+func (p *parked) Ended(item dispatch.Item, _ balance.Outcome) { p.events <- "ended " + item.Asked().ID }
 
 // all is what comes until the end, which must be one in good order.
 func all(t *testing.T, far net.Conn) string {
@@ -71,7 +71,7 @@
 	}
 	stands := come("OPEN stands k c=feed,d=900\r\n")
 	hopNear, hop := pair(t)
-	if up := <-p.taken; !up.Up("UP r1", "s1", leg.New(hopNear)) {
+	if up := <-p.taken; !up.Up("UP r1", "s1", bufconn.New(hopNear)) {
 		t.Fatal("not up")
 	}
 	if text, _ := bufio.NewReader(stands).ReadString('\n'); text != "UP r1\r\n" {
@@ -139,7 +139,7 @@
 			if stands {
 				far := come("OPEN stands k c=feed,d=900\r\n")
 				near, hop := net.Pipe()
-				(<-p.taken).Up("UP r1", "s1", leg.New(near))
+				(<-p.taken).Up("UP r1", "s1", bufconn.New(near))
 				lines := bufio.NewReader(far)
 				_, _ = lines.ReadString('\n')
 				stop = func() { _, _ = io.ReadAll(lines); far.Close(); hop.Close() }
--- a/internal/caller/firstline.go
+++ b/internal/downstream/firstline.go
@@ -1,13 +1,13 @@
-package caller
+package downstream
 
 import (
 	"errors"
 	"os"
 	"time"
 
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 const (
@@ -33,15 +33,15 @@
 // transaction closes its leg itself.
 func (s *Server) serve(v *visitor) {
 	defer s.letGo(v)
-	l := leg.New(v.conn)
+	l := bufconn.New(v.conn)
 	for asked := 0; ; asked++ {
 		text, err := l.NextText()
 		if err != nil {
 			s.unopened(v, l, err)
 			return
 		}
-		if string(text) == line.Ping && asked < pings {
-			answer := line.Pong
+		if string(text) == lineproto.Ping && asked < pings {
+			answer := lineproto.Pong
 			if !s.TakesClients() {
 				answer = s.busy()
 			}
@@ -51,7 +51,7 @@
 			}
 			continue
 		}
-		open, err := line.ParseOpen(text)
+		open, err := lineproto.ParseOpen(text)
 		if err != nil {
 			s.reject(v, l, err)
 			return
@@ -62,7 +62,7 @@
 }
 
 // unopened ends a leg on which no first line came.
-func (s *Server) unopened(v *visitor, l *leg.Leg, err error) {
+func (s *Server) unopened(v *visitor, l *bufconn.Leg, err error) {
 	silent, late := l.R.Buffered() == 0, errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case late && (silent || time.Now().Before(v.deadline)): // or it has to go now, which is not its fault
@@ -75,10 +75,10 @@
 }
 
 // open runs a transaction to its end.
-func (s *Server) open(v *visitor, l *leg.Leg, o line.Open) {
-	t := exchange.New(exchange.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Realm, At: o.At,
+func (s *Server) open(v *visitor, l *bufconn.Leg, o lineproto.Open) {
+	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Realm, At: o.At,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(min(o.Wait, longestWait) - margin)},
-		&o, line.Front{}, s.decider, l)
+		&o, lineproto.Front{}, s.decider, l)
 	t.Figures = s.Figures.Class(o.Class)
 	if !s.admit(t, v) {
 		if s.seeOff(v, l, s.busy()) == nil {
@@ -98,7 +98,7 @@
 }
 
 // submitted notes that the decider has t, which may be given up from now on.
-func (s *Server) submitted(t *exchange.Transaction) {
+func (s *Server) submitted(t *proxy.Transaction) {
 	s.mu.Lock()
 	s.running[t] = true
 	over := s.over
@@ -109,14 +109,14 @@
 }
 
 // reject answers a first line that is none, and ends the leg.
-func (s *Server) reject(v *visitor, l *leg.Leg, err error) {
+func (s *Server) reject(v *visitor, l *bufconn.Leg, err error) {
 	s.bad.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
-	_ = s.seeOff(v, l, line.Error)
+	_ = s.seeOff(v, l, lineproto.Error)
 }
 
 // seeOff gives a last answer and ends the leg in good order: a request may come in the
 // very moment, and a close over it would be a reset, which takes the answer with it.
-func (s *Server) seeOff(v *visitor, l *leg.Leg, answer string) error {
+func (s *Server) seeOff(v *visitor, l *bufconn.Leg, answer string) error {
 	s.mu.Lock()
 	s.part(v)
 	s.mu.Unlock()
@@ -124,4 +124,4 @@
 }
 
 // busy words the busy answer to who is refused unseen.
-func (s *Server) busy() string { return line.Front{}.Busy(time.Duration(s.pause.Load())) }
+func (s *Server) busy() string { return lineproto.Front{}.Busy(time.Duration(s.pause.Load())) }
--- a/internal/caller/listen.go
+++ b/internal/downstream/listen.go
@@ -1,4 +1,4 @@
-package caller
+package downstream
 
 import (
 	"errors"
--- a/internal/caller/room.go
+++ b/internal/downstream/room.go
@@ -1,12 +1,12 @@
-package caller
+package downstream
 
 import (
 	"container/list"
 	"net"
 	"time"
 
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/proxy"
 )
 
 // glance is how long the read-out of one that has its last answer takes at least, also
@@ -76,7 +76,7 @@
 		return left
 	}
 	s.parting.Remove(oldest)
-	_ = v.conn.SetReadDeadline(leg.Past) // what it still sends is not read any more
+	_ = v.conn.SetReadDeadline(bufconn.Past) // what it still sends is not read any more
 	return glance
 }
 
@@ -96,7 +96,7 @@
 
 // admit tells whether t, which v has opened, may be served. While the node is emptied
 // nobody may, but for who is still sent here because the news is not out.
-func (s *Server) admit(t *exchange.Transaction, v *visitor) bool {
+func (s *Server) admit(t *proxy.Transaction, v *visitor) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !v.since.IsZero() || s.leaving && !time.Now().Before(s.refuseAt) {
@@ -133,7 +133,7 @@
 	v.since = time.Now()
 	v.place = s.parting.PushBack(v)
 	s.partings++
-	_ = v.conn.SetReadDeadline(leg.Past)
+	_ = v.conn.SetReadDeadline(bufconn.Past)
 }
 
 // letGo forgets a visitor, or the leg that it has become; its connection is closed.
--- a/internal/standin/client.go
+++ b/internal/fake/client.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // Front is what a client asks where to go, as the platform's front layer would
@@ -53,7 +53,7 @@
 	versions map[int]uint64
 	since    time.Time // when its stream began; zero while it has none
 	last     time.Time // its latest line of the stream
-	pos      resume.Position
+	pos      resumetoken.Position
 	placed   bool // pos is known
 }
 
@@ -245,7 +245,7 @@
 	}
 	switch {
 	case word == "RESUMED" && len(words) == 1 && !*began:
-		pos, err := resume.ParsePosition(words[0])
+		pos, err := resumetoken.ParsePosition(words[0])
 		switch {
 		case err != nil:
 			return err
@@ -256,7 +256,7 @@
 		}
 		begin(true)
 	case word == "SNAPSHOT" && len(words) == 2 && !*began:
-		pos, err := resume.ParsePosition(words[0])
+		pos, err := resumetoken.ParsePosition(words[0])
 		if err != nil {
 			return err
 		}
--- a/internal/standin/resumption.go
+++ b/internal/fake/resumption.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 import (
 	"context"
@@ -7,21 +7,21 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // start answers START: it resumes where that is possible, and else sends a
 // snapshot, for which a server that is behind waits until it has caught up with
 // what the client has seen.
 func (c *stream) start(ctx context.Context, rest string) error {
-	var from, floor *resume.Position
+	var from, floor *resumetoken.Position
 	var at time.Time
 	nonce := ""
 	for word := range strings.SplitSeq(rest, " ") {
 		name, value, _ := strings.Cut(word, "=")
 		switch name {
 		case "resume", "after":
-			p, err := resume.ParsePosition(value)
+			p, err := resumetoken.ParsePosition(value)
 			if err != nil {
 				return c.say("SYNTAX")
 			}
@@ -82,7 +82,7 @@
 func (c *stream) snapshot(epoch, base, head uint64) string {
 	var b strings.Builder
 	state := c.s.Feed.State(c.group, head)
-	fmt.Fprintf(&b, "SNAPSHOT %v %d\r\n", resume.Position{Epoch: epoch, Offset: head - base}, len(state))
+	fmt.Fprintf(&b, "SNAPSHOT %v %d\r\n", resumetoken.Position{Epoch: epoch, Offset: head - base}, len(state))
 	for l, v := range state {
 		fmt.Fprintf(&b, "ITEM %d %d in stock, glazed by hand\r\n", l, v)
 	}
--- a/internal/standin/roster.go
+++ b/internal/fake/roster.go
@@ -1,7 +1,7 @@
 // Package standin has the scripted parties that a node is run against: roster,
 // feed servers, clients. They speak the published protocol on loopback, and tell
 // what they saw; they never ask the node.
-package standin
+package fake
 
 import (
 	"cmp"
--- a/internal/standin/spoilt.go
+++ b/internal/fake/spoilt.go
@@ -1,4 +1,4 @@
-package standin
+package fake
 
 // Hang has the server take datagrams and answer none, while its probes go on as if nothing
 // were wrong; or ends that.
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -13,18 +13,18 @@
 	"github.com/sebdah/goldie/v2"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/replog"
 )
 
 // rootKey may found accounts in the world's record.
 var rootKey = ed25519.NewKeyFromSeed([]byte("the root of the tests' own fleet"))
 
 // signed is an operator's entry with a body, as text.
-func signed(kind entry.Kind, body string) string {
-	e := entry.Entry{Kind: kind, At: 1, Why: "a test", Body: json.RawMessage(body), Key: account.KeyName(rootKey.Public().(ed25519.PublicKey))}
+func signed(kind logentry.Kind, body string) string {
+	e := logentry.Entry{Kind: kind, At: 1, Why: "a test", Body: json.RawMessage(body), Key: account.KeyName(rootKey.Public().(ed25519.PublicKey))}
 	e.Sig = ed25519.Sign(rootKey, e.Signed())
 	raw, err := json.Marshal(e)
 	if err != nil {
@@ -40,14 +40,14 @@
 		w := newWorld(t, t.Context())
 		for _, tt := range []struct{ entry, want string }{
 			{`{"kind":"zones","by":"","at":1,"body":{"base":0,"set":[],"zones":["a"]}}`, "postures"},
-			{signed(entry.Zones, `{"base":0,"set":[],"zones":["a"]}`), "postures"},
-			{signed(entry.Contracts, `{"base":0,"steer":[{"contract":"gold","shares":{"a":1}}]}`), "allocations"},
-			{signed(entry.Contracts, `{"base":0,"steal":[]}`), "steal"},
+			{signed(logentry.Zones, `{"base":0,"set":[],"zones":["a"]}`), "postures"},
+			{signed(logentry.Contracts, `{"base":0,"steer":[{"contract":"gold","shares":{"a":1}}]}`), "allocations"},
+			{signed(logentry.Contracts, `{"base":0,"steal":[]}`), "steal"},
 			{`{"kind":"contracts","by":"","at":1,"body":{"base":0}}`, "not signed"},
 			{`{"kind":"accounts","by":"","at":1,"body":{"base":0}}`, "not signed"},
 		} {
 			for _, ask := range []string{"check", "propose"} {
-				answer, err := w.agent.Operator(t.Context(), link.Ask{Ask: ask, Entry: json.RawMessage(tt.entry)})
+				answer, err := w.agent.Operator(t.Context(), agentapi.Ask{Ask: ask, Entry: json.RawMessage(tt.entry)})
 				if err == nil || !strings.Contains(err.Error(), tt.want) {
 					t.Errorf("%s %s: %v, %v", ask, tt.entry, answer, err)
 				}
@@ -65,11 +65,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(t, ctx)
-		w.ledger.change(func(v *record.View) { v.Fresh, v.Heard = true, time.Now() })
+		w.ledger.change(func(v *replog.View) { v.Fresh, v.Heard = true, time.Now() })
 		done := make(chan struct{})
 		go func() { defer close(done); w.agent.Run(ctx) }()
-		said := link.Said{}
-		var gathered link.Gathering
+		said := agentapi.Said{}
+		var gathered agentapi.Gathering
 		node := func() {
 			time.Sleep(150 * time.Millisecond)
 			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
@@ -86,7 +86,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var told link.Told
+			var told agentapi.Told
 			if err := json.Unmarshal([]byte(answer), &told); err != nil {
 				t.Fatal(err)
 			}
@@ -115,7 +115,7 @@
 			body := fmt.Sprintf(`{"base":%d,"ops":[%s]}`, w.ledger.View().State.Accounts.Version, op)
 			w.write("operator", "proposes, signed by the root: %s", body)
 			c := newTalk(w.dial())
-			answer, err := c.ask(`{"ask":"propose","entry":` + signed(entry.Accounts, body) + `}`)
+			answer, err := c.ask(`{"ask":"propose","entry":` + signed(logentry.Accounts, body) + `}`)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -133,19 +133,19 @@
 // out; nobody's limits that need no reckoning are filled in, and others' words stay whole.
 func TestCutWords(t *testing.T) {
 	free := account.Limits{Open: 5, Rate: -1, Retries: -1, Probes: -1}
-	s := &entry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
-	word := func(half int64, rest float64) member.Use {
-		return member.Use{Use: account.Use{Member: "n", Half: half, Prior: map[string]account.Figures{"x": {Rate: 9}}}, Rest: account.Figures{Rate: rest}}
+	s := &logentry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
+	word := func(half int64, rest float64) gossip.Use {
+		return gossip.Use{Use: account.Use{Member: "n", Half: half, Prior: map[string]account.Figures{"x": {Rate: 9}}}, Rest: account.Figures{Rate: rest}}
 	}
 	for _, tt := range []struct {
-		use  member.Use
+		use  gossip.Use
 		want map[string]account.Figures
 	}{
 		{word(7, 2), map[string]account.Figures{"x": {Rate: 9}, "z": {Rate: 2}}},
 		{word(7, 0), map[string]account.Figures{"x": {Rate: 9}}},
 		{word(5, 2), map[string]account.Figures{"x": {Rate: 9}}},
 	} {
-		if got := whole([]member.Use{tt.use}, s, 7)[0].Prior; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+		if got := whole([]gossip.Use{tt.use}, s, 7)[0].Prior; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
 		}
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/record"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/replog"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // every is how often evidence is looked at. A change of the record is heard at once.
@@ -22,24 +22,24 @@
 
 // Record is what an agent asks of package record.
 type Record interface {
-	View() record.View
+	View() replog.View
 	Changed() <-chan struct{}
-	Propose(context.Context, entry.Entry) (entry.Outcome, error)
+	Propose(context.Context, logentry.Entry) (logentry.Outcome, error)
 	Leads() bool
 }
 
 // Options say what an agent is made of.
 type Options struct {
 	Name, Zone string
-	Member     *member.Agent
-	Record     Record        // nil for none
-	Why        string        // there is none: off, or what is wrong
-	Zones      *zone.Config  // nil where zones are not left
-	Lease      time.Duration // the record's
-	Offset     time.Duration // of the agent's clock over the machine's, for rehearsals
+	Member     *gossip.Agent
+	Record     Record             // nil for none
+	Why        string             // there is none: off, or what is wrong
+	Zones      *zonestatus.Config // nil where zones are not left
+	Lease      time.Duration      // the record's
+	Offset     time.Duration      // of the agent's clock over the machine's, for rehearsals
 	Clock      func() time.Duration
 	Together   bool // a guard taken out: decide alone though the record is heard
-	Guards     zone.Guards
+	Guards     zonestatus.Guards
 	Promises   *Promises           // nil where contracts are not kept
 	Accounts   *account.DealConfig // nil where routes and limits are not told
 }
@@ -48,8 +48,8 @@
 type Agent struct {
 	Options
 	began   time.Duration
-	alone   *zone.Alone
-	watch   *zone.Watch
+	alone   *zonestatus.Alone
+	watch   *zonestatus.Watch
 	deaf    bool          // it was said that the record is not heard
 	out     chan struct{} // holds one while a proposal is under way
 	keeping *keeping      // nil without promises
@@ -57,14 +57,14 @@
 	dealing dealing
 
 	mu    sync.Mutex
-	given member.Decided
+	given gossip.Decided
 }
 
 // New returns an agent that Run has to keep.
 func New(o Options) *Agent {
 	a := &Agent{Options: o, began: o.Clock(), out: make(chan struct{}, 1)}
 	if o.Zones != nil {
-		a.alone, a.watch = zone.NewAlone(*o.Zones), zone.NewWatch(*o.Zones)
+		a.alone, a.watch = zonestatus.NewAlone(*o.Zones), zonestatus.NewWatch(*o.Zones)
 		a.alone.Ignore, a.watch.Ignore = o.Guards, o.Guards
 	}
 	if o.Accounts != nil {
@@ -104,12 +104,12 @@
 // step looks at the record and at what was seen, once.
 func (a *Agent) step(ctx context.Context, proposals *sync.WaitGroup) {
 	now := a.Clock()
-	var v record.View
+	var v replog.View
 	if a.Record != nil {
 		v = a.Record.View()
 	}
-	var d member.Decided
-	var state zone.State
+	var d gossip.Decided
+	var state zonestatus.State
 	if v.State != nil {
 		d.Index, state = v.State.Index, v.State.Zones
 	}
@@ -135,7 +135,7 @@
 }
 
 // hears tells whether the record's word holds, and says when it begins or ends not to.
-func (a *Agent) hears(now time.Duration, v record.View) bool {
+func (a *Agent) hears(now time.Duration, v replog.View) bool {
 	switch {
 	case a.Zones == nil || v.Fresh != a.deaf || !v.Fresh && now-a.began < a.Lease:
 		return v.Fresh
@@ -156,10 +156,10 @@
 }
 
 // Answer takes what the node has said. The node's clock is the machine's.
-func (a *Agent) Answer(s link.Said) link.Told {
+func (a *Agent) Answer(s agentapi.Said) agentapi.Told {
 	g := a.Member.Answer(s.Spending)
 	g.Until -= a.Offset
-	told := link.Told{Granted: g}
+	told := agentapi.Told{Granted: g}
 	if a.Accounts != nil && a.Record != nil {
 		a.tables.hear(&s)
 		a.tables.tell(&s, &told)
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/sebdah/goldie/v2"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/replog"
 )
 
 // play runs a script for so long: members speak at 25 ms after each tenth of a second, the
@@ -28,7 +28,7 @@
 		time.Sleep(25 * time.Millisecond)
 		w.hear(seq + 1)
 		time.Sleep(25 * time.Millisecond)
-		line, err := json.Marshal(link.Said{Spending: w.spending()})
+		line, err := json.Marshal(agentapi.Said{Spending: w.spending()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -36,7 +36,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var told link.Told
+		var told agentapi.Told
 		if err := json.Unmarshal([]byte(answer), &told); err != nil {
 			t.Fatal(err)
 		}
@@ -81,7 +81,7 @@
 		hears := func(fresh bool) func() {
 			return func() {
 				w.write("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
-				w.ledger.change(func(v *record.View) {
+				w.ledger.change(func(v *replog.View) {
 					if v.Fresh = fresh; fresh {
 						v.Heard = time.Now()
 					}
@@ -119,7 +119,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
 		defer cancel()
 		w := newWorld(t, ctx)
-		w.ledger.change(func(v *record.View) { v.Fresh = true })
+		w.ledger.change(func(v *replog.View) { v.Fresh = true })
 		w.ledger.stuck = true
 		w.failed["c"] = 1
 		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.ledger.stuck = false }})
--- a/internal/fleet/agent/lead.go
+++ b/internal/fleet/agent/lead.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // proposing is how long a proposal may take. The decider decides anew after as long.
@@ -17,11 +17,11 @@
 
 // lead looks at what all members saw, and proposes what is to change: one thing at a time,
 // so that each is decided on the state that the last one left.
-func (a *Agent) lead(ctx context.Context, now time.Duration, state zone.State, proposals *sync.WaitGroup) {
-	var members []zone.Member
+func (a *Agent) lead(ctx context.Context, now time.Duration, state zonestatus.State, proposals *sync.WaitGroup) {
+	var members []zonestatus.Member
 	for _, m := range a.Member.Members() {
-		if m.Status != share.Left {
-			members = append(members, zone.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == share.Alive})
+		if m.Status != quota.Left {
+			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
 	}
 	change, why, ok := a.watch.Step(now, state, a.Member.Words(), members)
@@ -41,13 +41,13 @@
 	})
 }
 
-func (a *Agent) propose(ctx context.Context, now time.Duration, change zone.Change, why string) {
+func (a *Agent) propose(ctx context.Context, now time.Duration, change zonestatus.Change, why string) {
 	body, err := json.Marshal(change)
 	if err != nil {
 		slog.Error("fleet: zones", "err", err)
 		return
 	}
-	outcome, err := a.Record.Propose(ctx, entry.Entry{Kind: entry.Zones, By: a.Name, At: now.Milliseconds(), Why: why, Body: body})
+	outcome, err := a.Record.Propose(ctx, logentry.Entry{Kind: logentry.Zones, By: a.Name, At: now.Milliseconds(), Why: why, Body: body})
 	switch {
 	case err != nil:
 		slog.Warn("fleet: zones: a change was not decided", "why", why, "err", err)
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -7,20 +7,20 @@
 	"fmt"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/replog"
+	"coralrelay/internal/fleet/slo"
 )
 
 // Outcome answers the asks "check" and "propose".
 type Outcome struct {
-	Outcome entry.Outcome `json:"outcome"`
+	Outcome logentry.Outcome `json:"outcome"`
 }
 
 // Operator answers an operator's ask: "state" for people, "record" for all that the record
 // holds, "check" for whether an entry would be taken now, "propose" to have it taken.
-func (a *Agent) Operator(ctx context.Context, ask link.Ask) (any, error) {
+func (a *Agent) Operator(ctx context.Context, ask agentapi.Ask) (any, error) {
 	switch ask.Ask {
 	case "state":
 		return a.State(), nil
@@ -35,11 +35,11 @@
 	if ask.Ask == "record" {
 		return state, nil
 	}
-	if len(ask.Entry) > entry.Largest {
-		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(ask.Entry), entry.Largest)
+	if len(ask.Entry) > logentry.Largest {
+		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(ask.Entry), logentry.Largest)
 	}
-	var e entry.Entry
-	if err := entry.Strict(ask.Entry, &e); err != nil {
+	var e logentry.Entry
+	if err := logentry.Strict(ask.Entry, &e); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	if err := operators(&e); err != nil {
@@ -48,8 +48,8 @@
 	e.By = a.Name
 	if ask.Ask == "propose" {
 		o, err := a.Record.Propose(ctx, e)
-		if errors.Is(err, record.ErrUnknown) {
-			err = &link.Refusal{Text: err.Error(), Unknown: true}
+		if errors.Is(err, replog.ErrUnknown) {
+			err = &agentapi.Refusal{Text: err.Error(), Unknown: true}
 		}
 		return Outcome{o}, err
 	}
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	o := entry.Outcome{Index: state.Index, Taken: true}
+	o := logentry.Outcome{Index: state.Index, Taken: true}
 	if err := state.Check(raw); err != nil {
 		o.Taken, o.Reason = false, err.Error()
 	}
@@ -67,17 +67,17 @@
 // operators tells whether an entry can be an operator's. Postures of zones and allocations are
 // the leader's own decisions, which never come by a port: whoever reaches it could have the
 // fleet leave a zone.
-func operators(e *entry.Entry) error {
+func operators(e *logentry.Entry) error {
 	switch {
-	case e.Kind == entry.Zones:
+	case e.Kind == logentry.Zones:
 		return errors.New("entry: zones: the fleet alone decides on postures")
 	case e.Key == "":
 		return fmt.Errorf("entry: %.40s: not signed", e.Kind)
-	case e.Kind != entry.Contracts:
+	case e.Kind != logentry.Contracts:
 		return nil
 	}
-	var c promise.Change
-	if err := entry.Strict(e.Body, &c); err != nil {
+	var c slo.Change
+	if err := logentry.Strict(e.Body, &c); err != nil {
 		return fmt.Errorf("entry: contracts: %w", err)
 	}
 	if len(c.Steer) > 0 {
@@ -87,8 +87,8 @@
 }
 
 // State is what this member knows and tells its node.
-func (a *Agent) State() link.State {
-	s := link.State{Name: a.Name, Zone: a.Zone, Record: "on", Heard: -1, Postures: []link.Seen{}, Bounds: []link.Bound{}}
+func (a *Agent) State() agentapi.State {
+	s := agentapi.State{Name: a.Name, Zone: a.Zone, Record: "on", Heard: -1, Postures: []agentapi.Seen{}, Bounds: []agentapi.Bound{}}
 	if a.Record == nil {
 		s.Record = a.Why
 	} else {
@@ -100,7 +100,7 @@
 		if v.State != nil {
 			s.Index, s.Hash, s.Version = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
 			for _, z := range v.State.Zones.Seen {
-				s.Postures = append(s.Postures, link.Seen{From: z.From, To: z.To, Posture: z.Posture.String(), Share: z.Share,
+				s.Postures = append(s.Postures, agentapi.Seen{From: z.From, To: z.To, Posture: z.Posture.String(), Share: z.Share,
 					Step: z.Step, Rate: z.Rate, Since: z.Since, Until: z.Until, Fails: z.Fails})
 			}
 		}
@@ -108,11 +108,11 @@
 	a.mu.Lock()
 	s.Over = a.given.Over
 	for _, b := range a.given.Bounds {
-		s.Bounds = append(s.Bounds, link.Bound(b))
+		s.Bounds = append(s.Bounds, agentapi.Bound(b))
 	}
 	a.mu.Unlock()
 	for _, m := range a.Member.Members() {
-		s.Members = append(s.Members, link.Peer{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), Record: m.Record, Index: m.Index, At: m.At})
+		s.Members = append(s.Members, agentapi.Peer{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), Record: m.Record, Index: m.Index, At: m.At})
 	}
 	return s
 }
--- a/internal/fleet/agent/promises.go
+++ b/internal/fleet/agent/promises.go
@@ -8,21 +8,21 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // Promises say how an agent takes part in keeping contracts on response times.
 type Promises struct {
-	Config promise.Config
+	Config slo.Config
 	Pace   int                                    // how many times faster the Config's time passes; 1 but for rehearsals
 	Time   func(unix time.Duration) time.Duration // the Config's time
-	Zones  zone.Config                            // regions, and what a warm next hop bears
+	Zones  zonestatus.Config                      // regions, and what a warm next hop bears
 	Voters []string                               // who may lead
-	Guards promise.Guards
+	Guards slo.Guards
 }
 
 const (
@@ -41,14 +41,14 @@
 	out        map[string]chan []byte // to each other voter
 
 	mu    sync.Mutex
-	fleet *promise.Fleet    // nil for one that never leads
+	fleet *slo.Fleet        // nil for one that never leads
 	known map[string]string // members' zones
 
-	steer   *promise.Steer
-	seen    []promise.Seen // not taken yet
-	parts   []part         // the last ones
-	version uint64         // of the contracts that the fleet knows
-	names   []string       // and of the regions
+	steer   *slo.Steer
+	seen    []slo.Seen // not taken yet
+	parts   []part     // the last ones
+	version uint64     // of the contracts that the fleet knows
+	names   []string   // and of the regions
 	looked  time.Duration
 	zones   uint64 // version of the postures that were looked at last
 	busy    chan struct{}
@@ -59,7 +59,7 @@
 	k := &keeping{Promises: *o.Promises, name: o.Name, zone: o.Zone, tell: o.Member.Tell, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
 	for _, v := range k.Voters {
 		if v == k.name {
-			k.fleet, k.steer = promise.NewFleet(k.Config), promise.NewSteer(k.Config)
+			k.fleet, k.steer = slo.NewFleet(k.Config), slo.NewSteer(k.Config)
 			k.steer.Ignore = k.Guards
 			continue
 		}
@@ -92,7 +92,7 @@
 
 // measured takes the node's samples: whoever may lead is told of them. A node is never
 // another than the one beside this agent.
-func (k *keeping) measured(now time.Duration, samples []promise.Sample) {
+func (k *keeping) measured(now time.Duration, samples []slo.Sample) {
 	for _, s := range samples[:min(len(samples), mostSamples)] {
 		s.Member, s.From = k.name, k.zone
 		raw, err := json.Marshal(s)
@@ -115,8 +115,8 @@
 
 // hear takes a sample that another member tells.
 func (k *keeping) hear(now time.Duration, raw []byte) {
-	var s promise.Sample
-	if err := entry.Strict(raw, &s); err != nil {
+	var s slo.Sample
+	if err := logentry.Strict(raw, &s); err != nil {
 		slog.Warn("fleet: promises: a sample that can't be read", "err", err)
 		return
 	}
@@ -126,7 +126,7 @@
 }
 
 // merge takes a sample of a member that is there, and stands where it says.
-func (k *keeping) merge(now time.Duration, s promise.Sample) {
+func (k *keeping) merge(now time.Duration, s slo.Sample) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if at, ok := k.known[s.Member]; !ok || at != s.From {
@@ -138,7 +138,7 @@
 }
 
 // turn takes what was seen in the parts of time that are over.
-func (k *keeping) turn(now time.Duration, s promise.State, regions []promise.Region, members []zone.Member) {
+func (k *keeping) turn(now time.Duration, s slo.State, regions []slo.Region, members []zonestatus.Member) {
 	var names []string
 	for _, r := range regions {
 		names = append(names, r.Name)
@@ -159,7 +159,7 @@
 }
 
 // counted takes what the node has measured, and tells it by which contracts it counts.
-func (a *Agent) counted(said *link.Said, told *link.Told) {
+func (a *Agent) counted(said *agentapi.Said, told *agentapi.Told) {
 	if a.keeping == nil || a.Record == nil {
 		return
 	}
@@ -169,19 +169,19 @@
 	}
 }
 
-func promised(s promise.State) *link.Promised {
-	p := &link.Promised{Version: s.Version, Contracts: []link.Contract{}}
+func promised(s slo.State) *agentapi.Promised {
+	p := &agentapi.Promised{Version: s.Version, Contracts: []agentapi.Contract{}}
 	for _, c := range s.Contracts {
-		p.Contracts = append(p.Contracts, link.Contract{Name: c.Name, Priority: c.Priority, Messages: c.Messages})
+		p.Contracts = append(p.Contracts, agentapi.Contract{Name: c.Name, Priority: c.Priority, Messages: c.Messages})
 	}
 	return p
 }
 
 // present are the members that have not left, as the rooms take them.
-func (a *Agent) present() (members []zone.Member) {
+func (a *Agent) present() (members []zonestatus.Member) {
 	for _, m := range a.Member.Members() {
-		if m.Status != share.Left {
-			members = append(members, zone.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == share.Alive})
+		if m.Status != quota.Left {
+			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
 	}
 	return members
--- a/internal/fleet/agent/promises_lead.go
+++ b/internal/fleet/agent/promises_lead.go
@@ -7,16 +7,16 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/replog"
+	"coralrelay/internal/fleet/slo"
 )
 
 // keep takes what was measured; the leader proposes what is to change. It looks once for
 // each part of time, and at once when zones are left or returned to, never before the last
 // proposal is decided and this member has its entry. How often a contract may move is the
 // decider's own matter.
-func (a *Agent) keep(ctx context.Context, now time.Duration, v record.View, leads bool, proposals *sync.WaitGroup) {
+func (a *Agent) keep(ctx context.Context, now time.Duration, v replog.View, leads bool, proposals *sync.WaitGroup) {
 	k := a.keeping
 	if k == nil || k.fleet == nil || v.State == nil {
 		return
@@ -58,13 +58,13 @@
 }
 
 // steered proposes an allocation, which is the fleet's own decision, and returns its index.
-func (a *Agent) steered(ctx context.Context, at time.Duration, change promise.Change, why string) uint64 {
+func (a *Agent) steered(ctx context.Context, at time.Duration, change slo.Change, why string) uint64 {
 	body, err := json.Marshal(change)
 	if err != nil {
 		slog.Error("fleet: promises", "err", err)
 		return 0
 	}
-	outcome, err := a.Record.Propose(ctx, entry.Entry{Kind: entry.Contracts, By: a.Name, At: at.Milliseconds(), Why: why, Body: body})
+	outcome, err := a.Record.Propose(ctx, logentry.Entry{Kind: logentry.Contracts, By: a.Name, At: at.Milliseconds(), Why: why, Body: body})
 	switch {
 	case err != nil:
 		slog.Warn("fleet: promises: a step was not decided", "why", why, "err", err)
--- a/internal/fleet/agent/promises_regions.go
+++ b/internal/fleet/agent/promises_regions.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // part is how many set-ups were counted in a part of time that is over.
@@ -18,7 +18,7 @@
 
 // count adds up what was seen. A part in which nobody measured anything counts as well, once
 // a later one has come.
-func (k *keeping) count(now time.Duration, seen []promise.Seen) {
+func (k *keeping) count(now time.Duration, seen []slo.Seen) {
 	for _, w := range seen {
 		if n := len(k.parts); n == 0 || k.parts[n-1].slot < w.Slot {
 			k.parts = append(k.parts, part{w.Slot, map[string]float64{}, map[string]float64{}})
@@ -58,7 +58,7 @@
 
 // regions says what each region bears and which part of it postures leave, by what members
 // see. Regions are named sets of zones, and zones that are in none.
-func (k *keeping) regions(s zone.State, words []zone.Word, members []zone.Member) []promise.Region {
+func (k *keeping) regions(s zonestatus.State, words []zonestatus.Word, members []zonestatus.Member) []slo.Region {
 	from, seen := map[string]bool{k.zone: true}, map[string]*sight{}
 	alive := map[string]bool{k.name: true}
 	for _, m := range members {
@@ -83,7 +83,7 @@
 	}
 	left, rate := postures(s, from)
 	_, counted := k.demand()
-	of := map[string]*promise.Region{}
+	of := map[string]*slo.Region{}
 	for _, name := range slices.Sorted(maps.Keys(seen)) {
 		z, region := seen[name], cmp.Or(k.Zones.RegionOf(name), name)
 		bears := median(z.servers) * k.Zones.Bears / float64(max(k.Pace, 1))
@@ -99,7 +99,7 @@
 		}
 		r := of[region]
 		if r == nil {
-			r = &promise.Region{Name: region, Load: -1}
+			r = &slo.Region{Name: region, Load: -1}
 			of[region] = r
 		}
 		if all := r.Capacity + bears; all > 0 {
@@ -110,7 +110,7 @@
 		}
 		r.Capacity += bears
 	}
-	var all []promise.Region
+	var all []slo.Region
 	for _, name := range slices.Sorted(maps.Keys(of)) {
 		r := of[name]
 		if other := r.Load*r.Capacity - counted[name]; other > little*r.Capacity {
@@ -123,7 +123,7 @@
 
 // postures are the least share and rate at which any zone with members may use another: a
 // contract is steered for all nodes alike, so it goes only where all of them may.
-func postures(s zone.State, from map[string]bool) (share, rate map[string]float64) {
+func postures(s zonestatus.State, from map[string]bool) (share, rate map[string]float64) {
 	share, rate = map[string]float64{}, map[string]float64{}
 	for _, viewpoint := range slices.Sorted(maps.Keys(from)) {
 		for _, b := range s.Bounds(viewpoint) {
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -4,23 +4,23 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // Regions are what members see together, within what postures leave; who says too much
 // changes nothing, nor does who has left.
 func TestRegions(t *testing.T) {
-	cfg := zone.Default()
+	cfg := zonestatus.Default()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
-	k := &keeping{Promises: Promises{Config: promise.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
-	members := []zone.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
-	see := func(member string, servers int, load float64) zone.Word {
-		return zone.Word{Member: member, Sights: []zone.Sight{{To: "a", Servers: servers, Load: load}, {To: "b", Servers: servers, Load: -1}, {To: "c", Servers: servers, Cold: servers, Load: load}}}
+	k := &keeping{Promises: Promises{Config: slo.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
+	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
+	see := func(member string, servers int, load float64) zonestatus.Word {
+		return zonestatus.Word{Member: member, Sights: []zonestatus.Sight{{To: "a", Servers: servers, Load: load}, {To: "b", Servers: servers, Load: -1}, {To: "c", Servers: servers, Cold: servers, Load: load}}}
 	}
-	words := []zone.Word{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
-	state := zone.State{Seen: []zone.Seen{{From: "a", To: "b", Posture: zone.Left}, {From: "b", To: "a", Share: 0.5}}}
-	want := []promise.Region{{Name: "a", Usable: 0.5, Capacity: 20, Other: 8, Load: 0.4}, {Name: "south", Capacity: 26, Usable: 6.0 / 26, Load: 0.4 * 6 / 26}}
+	words := []zonestatus.Word{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
+	state := zonestatus.State{Seen: []zonestatus.Seen{{From: "a", To: "b", Posture: zonestatus.Left}, {From: "b", To: "a", Share: 0.5}}}
+	want := []slo.Region{{Name: "a", Usable: 0.5, Capacity: 20, Other: 8, Load: 0.4}, {Name: "south", Capacity: 26, Usable: 6.0 / 26, Load: 0.4 * 6 / 26}}
 	want[1].Other = 0 // below a tenth of what it bears
 	for i, r := range k.regions(state, words, members) {
 		if d := r.Usable - want[i].Usable; r.Name != want[i].Name || r.Capacity != want[i].Capacity || d > 1e-9 || d < -1e-9 || r.Other-want[i].Other > 1e-9 || r.Load-want[i].Load > 1e-9 {
@@ -32,28 +32,28 @@
 // A sample counts where its member is there and stands where it says, and once.
 func TestSamplesOfMembers(t *testing.T) {
 	now := 1000 * time.Hour
-	tally := promise.NewTally(promise.Default(), "n2", "b", 1)
-	contracts := promise.State{Version: 1, Contracts: []promise.Contract{{Name: "gold"}}}
+	tally := slo.NewTally(slo.Default(), "n2", "b", 1)
+	contracts := slo.State{Version: 1, Contracts: []slo.Contract{{Name: "gold"}}}
 	tally.Know(contracts)
 	tally.Turn(now)
 	tally.Record(now, "gold", "a", 20*time.Millisecond)
-	over := now + promise.Default().Part
+	over := now + slo.Default().Part
 	s := tally.Turn(over)
 	for name, tt := range map[string]struct {
 		at   string
 		want int
 	}{"known": {"b", 1}, "elsewhere": {"c", 0}, "a stranger": {"", 0}} {
-		k := &keeping{Promises: Promises{Config: promise.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }}, name: "n1",
-			fleet: promise.NewFleet(promise.Default()), steer: promise.NewSteer(promise.Default())}
-		members := []zone.Member{{Name: "n2", Zone: tt.at, Alive: true}}
+		k := &keeping{Promises: Promises{Config: slo.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }}, name: "n1",
+			fleet: slo.NewFleet(slo.Default()), steer: slo.NewSteer(slo.Default())}
+		members := []zonestatus.Member{{Name: "n2", Zone: tt.at, Alive: true}}
 		if tt.at == "" {
 			members = nil
 		}
-		regions := []promise.Region{{Name: "a"}}
+		regions := []slo.Region{{Name: "a"}}
 		k.turn(over, contracts, regions, members)
 		k.merge(over, *s)
 		k.merge(over, *s)
-		k.turn(over+2*promise.Default().Part, contracts, regions, members)
+		k.turn(over+2*slo.Default().Part, contracts, regions, members)
 		demand, _ := k.demand()
 		if len(k.seen) != tt.want || tt.want > 0 && demand["gold"] != 0.2 {
 			t.Errorf("%s: %+v, demand %v", name, k.seen, demand)
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/record"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/replog"
 )
 
 const (
@@ -45,9 +45,9 @@
 // job is what one deal is made of.
 type job struct {
 	now   time.Duration
-	view  record.View
+	view  replog.View
 	own   account.Use
-	uses  []member.Use
+	uses  []gossip.Use
 	among account.Rights
 	done  chan struct{}
 }
@@ -67,7 +67,7 @@
 
 // tell puts rights into the node's answer, if they are news to it. They are dealt once in a
 // half epoch, as the node's own word of it comes, and again as that of others comes.
-func (d *dealing) tell(a *Agent, now time.Duration, v record.View, s *link.Said, to *link.Told) {
+func (d *dealing) tell(a *Agent, now time.Duration, v replog.View, s *agentapi.Said, to *agentapi.Told) {
 	if v.State == nil || len(v.State.Accounts.Nodes) == 0 && s.Deal == 0 {
 		return
 	}
@@ -143,7 +143,7 @@
 func (d *dealing) take(a *Agent, j job, r account.Rights) {
 	bare := r
 	bare.Even = nil
-	parts := [2][]account.Rights{link.RightsParts(r, link.Part), link.RightsParts(bare, link.Part)}
+	parts := [2][]account.Rights{agentapi.RightsParts(r, agentapi.Part), agentapi.RightsParts(bare, agentapi.Part)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.busy, d.made, d.cost = false, j.now, a.Clock()-j.now
@@ -159,7 +159,7 @@
 }
 
 // lost tells whether the record has not been heard for the hold.
-func (a *Agent) lost(now time.Duration, v record.View, hold time.Duration) bool {
+func (a *Agent) lost(now time.Duration, v replog.View, hold time.Duration) bool {
 	switch {
 	case v.Fresh:
 		return false
@@ -180,7 +180,7 @@
 
 // whole returns words as the deal takes them. What a word that was cut does not name counts
 // as used as much as it says of the rest.
-func whole(uses []member.Use, s *entry.State, half int64) (all []account.Use) {
+func whole(uses []gossip.Use, s *logentry.State, half int64) (all []account.Use) {
 	var bound []string
 	filled := 0
 	for _, u := range uses {
--- a/internal/fleet/agent/routes.go
+++ b/internal/fleet/agent/routes.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/route"
-	"coralrelay/internal/route/told"
+	"coralrelay/internal/route/snapshot"
 )
 
 const (
@@ -34,7 +34,7 @@
 }
 
 // hear takes how many next hops the node has in each zone, and what table.
-func (t *tables) hear(s *link.Said) {
+func (t *tables) hear(s *agentapi.Said) {
 	ready := map[string]int{}
 	for _, x := range s.Servers {
 		ready[x.Zone]++
@@ -48,7 +48,7 @@
 }
 
 // renew makes a new table where the record's state asks for it.
-func (t *tables) renew(now time.Duration, s *entry.State) {
+func (t *tables) renew(now time.Duration, s *logentry.State) {
 	if s == nil {
 		return
 	}
@@ -65,7 +65,7 @@
 		return
 	}
 	t.mu.Unlock()
-	w := told.Whole(max(uint64(now), last.Index+1), s.Accounts, s.Contracts, s.Genesis.Zone.Regions, ready)
+	w := snapshot.Whole(max(uint64(now), last.Index+1), s.Accounts, s.Contracts, s.Genesis.Zone.Regions, ready)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.kept) == mostTables {
@@ -76,7 +76,7 @@
 }
 
 // tell puts a part of what is news to the node into its answer.
-func (t *tables) tell(s *link.Said, to *link.Told) {
+func (t *tables) tell(s *agentapi.Said, to *agentapi.Told) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.kept) == 0 || t.kept[len(t.kept)-1].Index == s.Table {
@@ -98,7 +98,7 @@
 		if before != nil {
 			w = route.Diff(*before, latest)
 		}
-		n.since, n.index, n.parts = since, latest.Index, link.TableParts(w, link.Part)
+		n.since, n.index, n.parts = since, latest.Index, agentapi.TableParts(w, agentapi.Part)
 	}
 	part := 0
 	if s.Toward == latest.Index && s.Part < len(t.news.parts) {
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -14,34 +14,34 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/record"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/replog"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // ledger is a record of one voter without sockets: the real state and rules, committed
 // after 20 ms.
 type ledger struct {
 	mu    sync.Mutex
-	view  record.View
+	view  replog.View
 	woken chan struct{}
 	stuck bool // proposals are not decided
 	asked int  // proposals under way
 	most  int  // at once
 }
 
-func newLedger(t *testing.T, g entry.Genesis) *ledger {
-	s, err := entry.New(g)
+func newLedger(t *testing.T, g logentry.Genesis) *ledger {
+	s, err := logentry.New(g)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &ledger{view: record.View{State: s, Role: "leader", Leader: "n1"}, woken: make(chan struct{})}
+	return &ledger{view: replog.View{State: s, Role: "leader", Leader: "n1"}, woken: make(chan struct{})}
 }
 
-func (l *ledger) View() record.View {
+func (l *ledger) View() replog.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.view
@@ -53,7 +53,7 @@
 	return l.woken
 }
 
-func (l *ledger) change(f func(v *record.View)) {
+func (l *ledger) change(f func(v *replog.View)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f(&l.view)
@@ -63,7 +63,7 @@
 
 func (l *ledger) Leads() bool { return l.View().Fresh }
 
-func (l *ledger) Propose(ctx context.Context, e entry.Entry) (o entry.Outcome, err error) {
+func (l *ledger) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
 	l.mu.Lock()
 	l.asked++
 	l.most = max(l.most, l.asked)
@@ -72,14 +72,14 @@
 	defer func() { l.mu.Lock(); l.asked--; l.mu.Unlock() }()
 	if stuck {
 		<-ctx.Done()
-		return o, fmt.Errorf("%w: %w", record.ErrUnknown, ctx.Err())
+		return o, fmt.Errorf("%w: %w", replog.ErrUnknown, ctx.Err())
 	}
 	time.Sleep(20 * time.Millisecond)
 	raw, err := json.Marshal(e)
 	if err != nil {
 		return o, err
 	}
-	l.change(func(v *record.View) { v.State, o = v.State.Apply(raw) })
+	l.change(func(v *replog.View) { v.State, o = v.State.Apply(raw) })
 	return o, nil
 }
 
@@ -96,20 +96,20 @@
 }
 
 func newWorld(t *testing.T, ctx context.Context) *world {
-	cfg := zone.Default()
-	w := &world{ledger: newLedger(t, entry.Genesis{Root: rootKey.Public().(ed25519.PublicKey), Zone: cfg}), failed: map[string]float64{}, began: time.Now()}
+	cfg := zonestatus.Default()
+	w := &world{ledger: newLedger(t, logentry.Genesis{Root: rootKey.Public().(ed25519.PublicKey), Zone: cfg}), failed: map[string]float64{}, began: time.Now()}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	m := member.NewAgent("n1", share.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: 3 * time.Second, Retries: 0.2, Shun: 0.25}, share.Guards{}, clock)
+	m := gossip.NewAgent("n1", quota.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: 3 * time.Second, Retries: 0.2, Shun: 0.25}, quota.Guards{}, clock)
 	m.Zone = "a"
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
-		m.Saw(fmt.Sprint("n", i+2), share.Alive, []byte(`{"zone":"`+z+`"}`))
+		m.Saw(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
 	w.agent = New(Options{Name: "n1", Zone: "a", Member: m, Record: w.ledger, Zones: &cfg, Lease: 2 * time.Second, Clock: clock,
 		Accounts: &account.DealConfig{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Full: 6}})
 	l := &pipes{made: make(chan net.Conn), closed: make(chan struct{})}
 	w.dial = l.dial
 	go func() {
-		if err := link.Serve(ctx, l, w.agent); err != nil {
+		if err := agentapi.Serve(ctx, l, w.agent); err != nil {
 			t.Error(err)
 		}
 	}()
--- a/internal/fleet/link/parts.go
+++ b/internal/fleet/agentapi/parts.go
@@ -1,4 +1,4 @@
-package link
+package agentapi
 
 import (
 	"encoding/json"
--- a/internal/fleet/link/promises.go
+++ b/internal/fleet/agentapi/promises.go
@@ -1,4 +1,4 @@
-package link
+package agentapi
 
 // Promised is which contracts are counted: what a node is told once they are others than
 // those that it has said to know.
--- a/internal/fleet/link/state.go
+++ b/internal/fleet/agentapi/state.go
@@ -1,4 +1,4 @@
-package link
+package agentapi
 
 // State is an agent's answer to the ask "state".
 type State struct {
--- a/internal/fleet/link/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -1,4 +1,4 @@
-package link
+package agentapi
 
 import (
 	"bufio"
@@ -10,14 +10,14 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/fleet/storedtest"
 	"coralrelay/internal/route"
 )
 
 // The files in testdata/stored were written by the code of commit 011f0a6 with
 //
-//	go test ./internal/fleet/link -run TestStored -update
+//	go test ./internal/fleet/agentapi -run TestStored -update
 
 func storedSaid() Said {
 	return Said{
@@ -32,9 +32,9 @@
 			Used:   map[string]account.Figures{"acme": {Open: 118, Rate: 119, Retries: 120, Probes: 121}},
 			Prior:  map[string]account.Figures{"acme/web": {Open: 122, Rate: 123, Retries: 124, Probes: 125}},
 			Wanted: map[string]account.Figures{"acme/web:r": {Open: 126, Rate: 127, Retries: 128, Probes: 129}}},
-		Samples: []promise.Sample{{Member: "node-b", From: "zone-c", Boot: 130, Seq: 131, Slot: 132,
+		Samples: []slo.Sample{{Member: "node-b", From: "zone-c", Boot: 130, Seq: 131, Slot: 132,
 			Regions: []string{"region-a", "region-b"}, Dropped: 133,
-			Cells: []promise.Cell{{Contract: "contract-a", Region: 1, Hist: promise.Hist{2, 3, 1, 4}}}}},
+			Cells: []slo.Cell{{Contract: "contract-a", Region: 1, Hist: slo.Hist{2, 3, 1, 4}}}}},
 		Contracts: 134,
 	}
 }
--- a/internal/fleet/link/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -2,7 +2,7 @@
 // has spent, the agent answers with what it may spend now, a line of JSON each over a
 // loopback connection. The agent is a process of its own, so that the node stays lean and
 // goes on alone when it is gone. Operators ask on the same port. Nothing is decided here.
-package link
+package agentapi
 
 import (
 	"bufio"
@@ -14,7 +14,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/route"
 )
 
@@ -33,15 +33,15 @@
 type (
 	Said struct {
 		balance.Spending
-		Table     uint64           `json:"table,omitempty"`     // index of the table that the node has
-		Toward    uint64           `json:"toward,omitempty"`    // of the one that it is being told,
-		Part      int              `json:"part,omitempty"`      // of which it has so many parts
-		Deal      uint64           `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
-		Piece     int              `json:"piece,omitempty"`     // of which it has so many parts
-		Even      uint64           `json:"even,omitempty"`      // the last that it has whole
-		Uses      *account.Use     `json:"uses,omitempty"`      // what it has used, without member and time
-		Samples   []promise.Sample `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
-		Contracts uint64           `json:"contracts,omitempty"` // version of those that the node counts by
+		Table     uint64       `json:"table,omitempty"`     // index of the table that the node has
+		Toward    uint64       `json:"toward,omitempty"`    // of the one that it is being told,
+		Part      int          `json:"part,omitempty"`      // of which it has so many parts
+		Deal      uint64       `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
+		Piece     int          `json:"piece,omitempty"`     // of which it has so many parts
+		Even      uint64       `json:"even,omitempty"`      // the last that it has whole
+		Uses      *account.Use `json:"uses,omitempty"`      // what it has used, without member and time
+		Samples   []slo.Sample `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
+		Contracts uint64       `json:"contracts,omitempty"` // version of those that the node counts by
 	}
 	Told struct {
 		balance.Granted
--- a/internal/fleet/member/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -1,7 +1,7 @@
 // Package member is the fleet agent's part in gossip: it knows which nodes there are (SWIM,
 // by hashicorp/memberlist), spreads what each has spent and seen, and tells the node beside
 // it what it may spend, as package share decides.
-package member
+package gossip
 
 import (
 	"hash/maphash"
@@ -13,8 +13,8 @@
 	"github.com/hashicorp/memberlist"
 
 	"coralrelay/balance"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // binds is how long a grant keeps the node to the fleet's budgets after the agent has last
@@ -30,11 +30,11 @@
 
 	name  string
 	boot  int64
-	cfg   share.Config
+	cfg   quota.Config
 	clock func() time.Duration
 
 	mu     sync.Mutex
-	state  *share.State
+	state  *quota.State
 	places map[string]place  // of others
 	words  map[string]word   // the last of each member
 	uses   map[string]Use    // and of what it uses of accounts,
@@ -42,8 +42,8 @@
 	given  Decided
 	seq    uint64
 	half   int64                // of the node's last word
-	spent  map[share.Server]int // in that half
-	prior  map[share.Server]int // in the half before it
+	spent  map[quota.Server]int // in that half
+	prior  map[quota.Server]int // in the half before it
 	seed   maphash.Seed
 	heard  [4096]uint64 // marks of reports that were taken
 	spread func(name string, report []byte)
@@ -52,17 +52,17 @@
 
 // Decided is what the record, or this member by itself, has decided for its node.
 type Decided struct {
-	Index  uint64       // of the record as this member serves it
-	Bounds []zone.Bound // zones that are not named are not bounded
-	Over   float64      // share of first arrivals that is refused at once
+	Index  uint64             // of the record as this member serves it
+	Bounds []zonestatus.Bound // zones that are not named are not bounded
+	Over   float64            // share of first arrivals that is refused at once
 }
 
 // NewAgent returns a member by that name that knows nobody.
-func NewAgent(name string, cfg share.Config, ignore share.Guards, clock func() time.Duration) *Agent {
-	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: share.New(name, cfg),
+func NewAgent(name string, cfg quota.Config, ignore quota.Guards, clock func() time.Duration) *Agent {
+	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.New(name, cfg),
 		places: map[string]place{}, words: map[string]word{},
 		uses: map[string]Use{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
-		spent: map[share.Server]int{}, prior: map[share.Server]int{}, spread: func(string, []byte) {}}
+		spent: map[quota.Server]int{}, prior: map[quota.Server]int{}, spread: func(string, []byte) {}}
 	a.state.Ignore = ignore
 	return a
 }
@@ -100,11 +100,11 @@
 	return g
 }
 
-func (a *Agent) zoneGrant(now time.Duration, b zone.Bound, spent bool) balance.ZoneGrant {
+func (a *Agent) zoneGrant(now time.Duration, b zonestatus.Bound, spent bool) balance.ZoneGrant {
 	g := balance.ZoneGrant{Zone: b.Zone, Share: b.Share, Tokens: -1}
 	if b.Rate > 0 {
 		if g.Tokens = 0; !spent {
-			g.Tokens = a.state.Rate(now, share.Zone(b.Zone), b.Rate)
+			g.Tokens = a.state.Rate(now, quota.Zone(b.Zone), b.Rate)
 		}
 	}
 	return g
@@ -114,20 +114,20 @@
 func (a *Agent) own(now time.Duration, sp balance.Spending) {
 	if sp.Half > a.half {
 		if a.prior = a.spent; sp.Half > a.half+1 {
-			a.prior = map[share.Server]int{}
+			a.prior = map[quota.Server]int{}
 		}
-		a.half, a.spent = sp.Half, map[share.Server]int{}
+		a.half, a.spent = sp.Half, map[quota.Server]int{}
 	}
 	a.seq++
-	w := word{Report: share.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.Firsts, Retries: sp.Retries},
+	w := word{Report: quota.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.Firsts, Retries: sp.Retries},
 		Zone: a.Zone, Index: a.given.Index, Sights: sights(sp.Servers)}
 	for _, x := range sp.Servers {
-		s := share.Server{ID: x.ID, Started: x.Started.Milliseconds()}
+		s := quota.Server{ID: x.ID, Started: x.Started.Milliseconds()}
 		if sp.Half == a.half && x.Used > 0 {
 			a.spent[s] = x.Used
 		}
 		if x.Asked >= asked || x.Cold {
-			u := share.Use{Server: s, Cold: x.Cold, Part: x.Part, Asked: x.Asked, Failed: x.Failed}
+			u := quota.Use{Server: s, Cold: x.Cold, Part: x.Part, Asked: x.Asked, Failed: x.Failed}
 			if x.Cold { // tokens are for cold ones alone
 				u.Spent, u.Prior = a.spent[s], a.prior[s]
 			}
@@ -135,11 +135,11 @@
 		}
 	}
 	for _, z := range sp.Zones {
-		s := share.Zone(z.Zone)
+		s := quota.Zone(z.Zone)
 		if sp.Half == a.half && z.Used > 0 {
 			a.spent[s] = z.Used
 		}
-		if u := (share.Use{Server: s, Spent: a.spent[s], Prior: a.prior[s]}); u.Spent+u.Prior > 0 {
+		if u := (quota.Use{Server: s, Spent: a.spent[s], Prior: a.prior[s]}); u.Spent+u.Prior > 0 {
 			w.Uses = append(w.Uses, u)
 		}
 	}
--- a/internal/fleet/member/delegate.go
+++ b/internal/fleet/gossip/delegate.go
@@ -1,11 +1,11 @@
-package member
+package gossip
 
 import (
 	"sync/atomic"
 
 	"github.com/hashicorp/memberlist"
 
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/quota"
 )
 
 // broadcast is a report on its way; a later one of the same member takes its place.
@@ -45,14 +45,14 @@
 
 func (d *delegate) NotifyJoin(n *memberlist.Node) {
 	d.there.Add(1)
-	d.agent.Saw(n.Name, share.Alive, n.Meta)
+	d.agent.Saw(n.Name, quota.Alive, n.Meta)
 }
-func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.agent.Saw(n.Name, share.Alive, n.Meta) }
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.agent.Saw(n.Name, quota.Alive, n.Meta) }
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	d.there.Add(-1)
 	if n.State == memberlist.StateLeft {
-		d.agent.Saw(n.Name, share.Left, n.Meta)
+		d.agent.Saw(n.Name, quota.Left, n.Meta)
 		return
 	}
-	d.agent.Saw(n.Name, share.Failed, n.Meta)
+	d.agent.Saw(n.Name, quota.Failed, n.Meta)
 }
--- a/internal/fleet/member/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"context"
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/gossip/member_test.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"context"
@@ -13,10 +13,10 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/quota"
 )
 
-var cfg = share.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: time.Minute, Retries: 0.1, Shun: 1}
+var cfg = quota.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: time.Minute, Retries: 0.1, Shun: 1}
 
 func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
@@ -44,7 +44,7 @@
 	for i, name := range []string{"a", "b", "c", "stranger"} {
 		at := free(t)
 		peers = append(peers, at)
-		a := NewAgent(name, cfg, share.Guards{}, clock)
+		a := NewAgent(name, cfg, quota.Guards{}, clock)
 		agents[name] = a
 		g := Gossip{Bind: at, Peers: slices.Clone(peers), Key: key, Open: name == "stranger", Interval: 20 * time.Millisecond, Log: io.Discard}
 		go func() { ended <- a.Run(ctx, g) }()
--- a/internal/fleet/member/roster.go
+++ b/internal/fleet/gossip/roster.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"cmp"
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // place is what membership carries of a member, before it has said anything: memberlist
@@ -26,14 +26,14 @@
 type Standing struct {
 	Name   string       `json:"name"`
 	Zone   string       `json:"zone,omitempty"`
-	Status share.Status `json:"-"`
+	Status quota.Status `json:"-"`
 	Record string       `json:"record,omitempty"` // where it serves the record
 	Index  uint64       `json:"index,omitempty"`  // as it last said
 	At     int64        `json:"at,omitempty"`     // Unix ms of its last word, by its clock
 }
 
 // Saw takes news of membership.
-func (a *Agent) Saw(name string, status share.Status, meta []byte) {
+func (a *Agent) Saw(name string, status quota.Status, meta []byte) {
 	var p place
 	if err := json.Unmarshal(meta, &p); len(meta) > 0 && err != nil || !p.sound() {
 		slog.Warn("fleet: a member's place can't be read", "name", name, "err", err)
@@ -77,7 +77,7 @@
 }
 
 // Words returns what each member saw last of the zones, by name.
-func (a *Agent) Words() (all []zone.Word) {
+func (a *Agent) Words() (all []zonestatus.Word) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(a.words)) {
@@ -89,7 +89,7 @@
 }
 
 // Own returns what this member's node saw last.
-func (a *Agent) Own() zone.Word {
+func (a *Agent) Own() zonestatus.Word {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.words[a.name]
@@ -98,10 +98,10 @@
 }
 
 // zones is the evidence in a word.
-func (w word) zones() zone.Word {
-	z := zone.Word{Member: w.Member, From: w.Zone, At: w.At, Sights: make([]zone.Sight, len(w.Sights))}
+func (w word) zones() zonestatus.Word {
+	z := zonestatus.Word{Member: w.Member, From: w.Zone, At: w.At, Sights: make([]zonestatus.Sight, len(w.Sights))}
 	for i, s := range w.Sights {
-		z.Sights[i] = zone.Sight(s)
+		z.Sights[i] = zonestatus.Sight(s)
 	}
 	return z
 }
--- a/internal/fleet/member/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"bytes"
@@ -8,22 +8,22 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/quota"
 	"coralrelay/internal/fleet/storedtest"
 )
 
 // The files in testdata/stored were written by the code of commit 011f0a6 with
 //
-//	go test ./internal/fleet/member -run TestStored -update
+//	go test ./internal/fleet/gossip -run TestStored -update
 
 const storedNow = 1_700_000_000 * time.Second
 
 func storedReport() word {
 	return word{
-		Report: share.Report{Member: "node-b", Boot: 101, Seq: 102, At: 103, Half: 104, Firsts: 105.5, Retries: 106.5,
-			Uses: []share.Use{
-				{Server: share.Server{ID: "server-a", Started: 107}, Cold: true, Part: 0.125, Spent: 108, Prior: 109, Asked: 110.5, Failed: 111.5},
-				{Server: share.Zone("zone-a"), Cold: true, Part: 0.25, Spent: 112, Prior: 113, Asked: 114.5, Failed: 115.5},
+		Report: quota.Report{Member: "node-b", Boot: 101, Seq: 102, At: 103, Half: 104, Firsts: 105.5, Retries: 106.5,
+			Uses: []quota.Use{
+				{Server: quota.Server{ID: "server-a", Started: 107}, Cold: true, Part: 0.125, Spent: 108, Prior: 109, Asked: 110.5, Failed: 111.5},
+				{Server: quota.Zone("zone-a"), Cold: true, Part: 0.25, Spent: 112, Prior: 113, Asked: 114.5, Failed: 115.5},
 			}},
 		Zone: "zone-b", Index: 116,
 		Sights: []sight{
@@ -45,14 +45,14 @@
 
 // storedMember has met node-b by its stored meta data.
 func storedMember(t *testing.T) *Agent {
-	a := NewAgent("node-a", cfg, share.Guards{}, func() time.Duration { return storedNow })
+	a := NewAgent("node-a", cfg, quota.Guards{}, func() time.Duration { return storedNow })
 	want := place{Zone: "zone-b", Record: "127.0.0.1:1"}
 	storedtest.Complete(t, want)
 	raw, err := json.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Saw("node-b", share.Alive, storedtest.File(t, "meta.json", raw))
+	a.Saw("node-b", quota.Alive, storedtest.File(t, "meta.json", raw))
 	if got := a.places["node-b"]; got != want {
 		t.Errorf("meta data is read as %+v, want %+v", got, want)
 	}
--- a/internal/fleet/member/uses_test.go
+++ b/internal/fleet/gossip/uses_test.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/quota"
 )
 
 // What was used in an epoch's first half reaches others in the second, in one datagram: what
@@ -15,7 +15,7 @@
 func TestUsesTravel(t *testing.T) {
 	for _, paths := range []int{0, 5, 500} {
 		var sent [][]byte
-		a, b := NewAgent("a", cfg, share.Guards{}, clock), NewAgent("b", cfg, share.Guards{}, clock)
+		a, b := NewAgent("a", cfg, quota.Guards{}, clock), NewAgent("b", cfg, quota.Guards{}, clock)
 		a.spread = func(name string, raw []byte) {
 			if strings.HasPrefix(name, "used/") {
 				sent = append(sent, raw)
@@ -35,7 +35,7 @@
 		if len(b.Uses()) != 0 {
 			t.Error("the word of nobody is taken")
 		}
-		b.Saw("a", share.Alive, nil)
+		b.Saw("a", quota.Alive, nil)
 		b.hearAll(a.all()) // as who was cut off
 		b.Hear([]byte(`{"used":"a","half":9,"paths":{"acme":[1,0,0]}}`))
 		b.Hear([]byte(`{"used":"a","half":12,"paths":{"acme":[-1,0,0]}}`))
@@ -53,7 +53,7 @@
 		if (got[0].Rest.Rate > 0) != (paths == 500) {
 			t.Errorf("%d paths: rest %+v", paths, got[0].Rest)
 		}
-		b.Saw("a", share.Left, nil)
+		b.Saw("a", quota.Left, nil)
 		b.clock = func() time.Duration { return clock() + time.Hour }
 		if b.Holders(); len(b.Uses()) != 0 {
 			t.Error("a member that has left is remembered")
--- a/internal/fleet/member/word.go
+++ b/internal/fleet/gossip/word.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"cmp"
@@ -9,8 +9,8 @@
 	"strconv"
 
 	"coralrelay/balance"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 const (
@@ -27,7 +27,7 @@
 // word is one member's report as it travels: what it has spent, and what its node saw. A
 // report without zone and sights is an older version's.
 type word struct {
-	share.Report
+	quota.Report
 	Zone   string  `json:"zone,omitempty"`
 	Index  uint64  `json:"index,omitempty"` // of the record that the member serves
 	Sights []sight `json:"sights,omitempty"`
@@ -35,7 +35,7 @@
 
 // sight is a zone.Sight that is written as [to, servers, bad, tried, asked, failed, load, cold],
 // figures with three digits.
-type sight zone.Sight
+type sight zonestatus.Sight
 
 // MarshalJSON writes it.
 func (s sight) MarshalJSON() ([]byte, error) {
@@ -121,7 +121,7 @@
 
 // rank says how late a use is dropped: what was spent of tokens last, as silence would be
 // taken for nothing spent; before it what fails, and before that what was asked most.
-func rank(u share.Use) float64 {
+func rank(u quota.Use) float64 {
 	switch {
 	case u.Cold || u.Spent+u.Prior > 0:
 		return 2e9
@@ -135,7 +135,7 @@
 // beside them unless their names are escaped at length: then the last by name are dropped.
 func (w word) pack() []byte {
 	w.Uses = slices.Clone(w.Uses)
-	slices.SortStableFunc(w.Uses, func(x, y share.Use) int { return cmp.Compare(rank(y), rank(x)) })
+	slices.SortStableFunc(w.Uses, func(x, y quota.Use) int { return cmp.Compare(rank(y), rank(x)) })
 	for {
 		raw, err := json.Marshal(w)
 		if err != nil { // no number that JSON can't write passes the module
--- a/internal/fleet/member/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -1,4 +1,4 @@
-package member
+package gossip
 
 import (
 	"fmt"
@@ -7,21 +7,21 @@
 	"testing"
 
 	"coralrelay/balance"
-	"coralrelay/internal/fleet/share"
+	"coralrelay/internal/fleet/quota"
 )
 
 // What is dropped of a report that does not fit is what was asked least; what was spent of
 // tokens and what was seen of 12 zones stays.
 func TestReportsFitADatagram(t *testing.T) {
-	w := word{Report: share.Report{Member: strings.Repeat("n", 64), Boot: 1.7e18, Seq: 1e9, At: 1.7e18, Half: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
+	w := word{Report: quota.Report{Member: strings.Repeat("n", 64), Boot: 1.7e18, Seq: 1e9, At: 1.7e18, Half: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
 	var servers []balance.Spent
 	for i := range 500 {
-		u := share.Use{Server: share.Server{ID: fmt.Sprintf("s-%08x", i), Started: 1_700_000_000_000}, Asked: float64(i)}
+		u := quota.Use{Server: quota.Server{ID: fmt.Sprintf("s-%08x", i), Started: 1_700_000_000_000}, Asked: float64(i)}
 		u.Cold, u.Failed = i == 7, float64(i%100/99)
 		w.Uses = append(w.Uses, u)
 		servers = append(servers, balance.Spent{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), Asked: 12.3456789, Failed: 1.0 / 3, Load: 1.0 / 7})
 	}
-	w.Uses = append(w.Uses, share.Use{Server: share.Zone("b"), Spent: 3})
+	w.Uses = append(w.Uses, quota.Use{Server: quota.Zone("b"), Spent: 3})
 	w.Sights = sights(servers)
 	raw := w.pack()
 	if len(raw) > largest {
@@ -65,9 +65,9 @@
 		`{"member":"stranger","boot":1,"seq":1,"firsts":3,"zone":"a"}`:                                 -1,
 		`{"member":`: -1,
 	} {
-		a := NewAgent("n1", cfg, share.Guards{}, clock)
+		a := NewAgent("n1", cfg, quota.Guards{}, clock)
 		a.Hear([]byte(raw)) // before it is known who that is
-		a.Saw("n2", share.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
+		a.Saw("n2", quota.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
 		a.Hear([]byte(raw))
 		a.Hear([]byte(raw))
 		if got := len(a.words) - 1; got != min(zones, 0) || len(a.Words()) != max(zones, 0) {
--- a/internal/fleet/entry/entry.go
+++ b/internal/fleet/logentry/entry.go
@@ -2,7 +2,7 @@
 // them, and the state that they add up to. Members who have applied the same entries hold
 // the same state, byte for byte: applying reads no clock and no map's order. It does no
 // I/O and starts no goroutine.
-package entry
+package logentry
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"io"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // Kind is what an entry changes.
@@ -63,9 +63,9 @@
 // Genesis is what all members are given alike before the first entry. Members who differ in
 // it have other hashes from the start, and never take each other's entries.
 type Genesis struct {
-	Root   []byte         `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
-	Zone   zone.Config    `json:"zone"`
-	Ignore account.Guards `json:"-"` // of accounts, for a rig; each member's own
+	Root   []byte            `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
+	Zone   zonestatus.Config `json:"zone"`
+	Ignore account.Guards    `json:"-"` // of accounts, for a rig; each member's own
 }
 
 // Hash is of a chain: of its last entry and of all before it.
--- a/internal/fleet/entry/entry_test.go
+++ b/internal/fleet/logentry/entry_test.go
@@ -1,4 +1,4 @@
-package entry
+package logentry
 
 import (
 	"crypto/ed25519"
@@ -9,7 +9,7 @@
 	"testing"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 func raw(t *testing.T, e Entry) []byte {
@@ -22,7 +22,7 @@
 }
 
 func over(t *testing.T, base uint64, part float64) []byte {
-	body, _ := json.Marshal(zone.Change{Base: base, Zones: []string{"a", "b"}, Over: part})
+	body, _ := json.Marshal(zonestatus.Change{Base: base, Zones: []string{"a", "b"}, Over: part})
 	return raw(t, Entry{Kind: Zones, By: "m1", Body: body})
 }
 
--- a/internal/fleet/entry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -1,4 +1,4 @@
-package entry
+package logentry
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"fmt"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // Outcome says what became of an entry.
@@ -24,12 +24,12 @@
 // State is what all entries up to Index add up to. It is never changed in place, so that
 // readers may keep it.
 type State struct {
-	Genesis   Genesis       `json:"genesis"`
-	Index     uint64        `json:"index"`
-	Hash      Hash          `json:"hash"`
-	Zones     zone.State    `json:"zones"`
-	Accounts  account.State `json:"accounts"`
-	Contracts promise.State `json:"contracts"`
+	Genesis   Genesis          `json:"genesis"`
+	Index     uint64           `json:"index"`
+	Hash      Hash             `json:"hash"`
+	Zones     zonestatus.State `json:"zones"`
+	Accounts  account.State    `json:"accounts"`
+	Contracts slo.State        `json:"contracts"`
 }
 
 // New returns the state before the first entry.
@@ -110,7 +110,7 @@
 	var err error
 	switch e.Kind {
 	case Zones:
-		var c zone.Change
+		var c zonestatus.Change
 		if err = Strict(e.Body, &c); err == nil && e.Key != "" {
 			err = errMembers
 		}
@@ -123,7 +123,7 @@
 			next.Accounts, err = s.Accounts.Apply(c, e.Key)
 		}
 	case Contracts:
-		var c promise.Change
+		var c slo.Change
 		if err = Strict(e.Body, &c); err == nil && e.Key != "" && len(c.Steer) > 0 {
 			err = errMembers
 		}
--- a/internal/fleet/entry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -1,4 +1,4 @@
-package entry
+package logentry
 
 import (
 	"bytes"
@@ -12,13 +12,13 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // The files in testdata/stored were made by
 //
-//	go test ./internal/fleet/entry -run TestStored -update
+//	go test ./internal/fleet/logentry -run TestStored -update
 //
 // entries.jsonl is a log, an entry a line; state.json is the state that it adds up to.
 var update = flag.Bool("update", false, "rewrite the files in testdata/stored")
@@ -51,7 +51,7 @@
 
 func storedGenesis() Genesis {
 	_, root, _ := storedKey(1)
-	return Genesis{Root: root, Zone: zone.Config{
+	return Genesis{Root: root, Zone: zonestatus.Config{
 		Regions: map[string][]string{"north": {"a", "b"}, "south": {"c"}}, Zones: []string{"a", "b", "c", "d", "e"},
 		Fresh: 1100 * time.Millisecond, Skew: 210 * time.Millisecond, Confirm: 220 * time.Millisecond, Settle: 510 * time.Millisecond,
 		Steady: 2100 * time.Millisecond, Gap: 5200 * time.Millisecond, Hold: 5300 * time.Millisecond, HoldMost: 301 * time.Second,
@@ -85,12 +85,12 @@
 		Limits: account.Limits{Open: 30.5, Rate: 6.25, Retries: 1.5, Probes: 0.5, Routes: 1, Teams: 2}}
 	half := &account.Route{Name: "half", Match: account.Match{Class: "c2", Tenant: "t2", From: 0.25, To: 0.75}}
 	gone := &account.Route{Name: "gone", Match: account.Match{Class: "c1", Tenant: "t1"}}
-	k1 := promise.Contract{
+	k1 := slo.Contract{
 		Name: "k1", Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Messages: true, Window: time.Minute, Share: 0.99,
 		Priority: 2, Zones: []string{"a", "b"}}
-	k2 := promise.Contract{
+	k2 := slo.Contract{
 		Name: "k2", Holder: "acme:eu", Quantile: 0.9, Bound: 70 * time.Millisecond, Window: 10 * time.Second, Share: 0.98, Priority: 9}
-	k3 := promise.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Bound: time.Second, Window: 20 * time.Second, Share: 0.97}
+	k3 := slo.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Bound: time.Second, Window: 20 * time.Second, Share: 0.97}
 	return []storedChange{
 		{"accounts", 1, account.Change{Ops: []account.Op{
 			{Do: "found", Path: "acme", Node: acme},
@@ -118,26 +118,26 @@
 			{Do: "drop", Path: "brew"},
 		}}},
 		{"settings", 0, struct{}{}}, // not taken, and counts in the chain
-		{"zones", 0, zone.Change{Zones: zones, Over: 0.12, Set: []zone.Seen{
-			{From: "a", To: "b", Posture: zone.Leaving, Since: 1001, Fails: 1},
-			{From: "a", To: "c", Posture: zone.Leaving, Since: 1002, Fails: 2},
-			{From: "b", To: "c", Posture: zone.Leaving, Since: 1003, Fails: 3},
-			{From: "c", To: "a", Posture: zone.Suspect, Share: 0.9, Since: 1004},
-			{From: "d", To: "a", Posture: zone.Open, Share: 0.8, Since: 1005, Fails: 4},
-			{From: "e", To: "a", Posture: zone.Leaving, Since: 1006, Fails: 5},
+		{"zones", 0, zonestatus.Change{Zones: zones, Over: 0.12, Set: []zonestatus.Seen{
+			{From: "a", To: "b", Posture: zonestatus.Leaving, Since: 1001, Fails: 1},
+			{From: "a", To: "c", Posture: zonestatus.Leaving, Since: 1002, Fails: 2},
+			{From: "b", To: "c", Posture: zonestatus.Leaving, Since: 1003, Fails: 3},
+			{From: "c", To: "a", Posture: zonestatus.Suspect, Share: 0.9, Since: 1004},
+			{From: "d", To: "a", Posture: zonestatus.Open, Share: 0.8, Since: 1005, Fails: 4},
+			{From: "e", To: "a", Posture: zonestatus.Leaving, Since: 1006, Fails: 5},
 		}}},
-		{"zones", 0, zone.Change{Base: 1, Zones: zones, Over: 0.13, Set: []zone.Seen{
-			{From: "a", To: "b", Posture: zone.Left, Since: 2001, Fails: 1},
-			{From: "a", To: "c", Posture: zone.Left, Since: 2002, Fails: 2},
-			{From: "b", To: "c", Posture: zone.Held, Since: 2003, Until: 7303, Fails: 3},
+		{"zones", 0, zonestatus.Change{Base: 1, Zones: zones, Over: 0.13, Set: []zonestatus.Seen{
+			{From: "a", To: "b", Posture: zonestatus.Left, Since: 2001, Fails: 1},
+			{From: "a", To: "c", Posture: zonestatus.Left, Since: 2002, Fails: 2},
+			{From: "b", To: "c", Posture: zonestatus.Held, Since: 2003, Until: 7303, Fails: 3},
 		}}},
-		{"zones", 0, zone.Change{Base: 2, Zones: zones, Over: 0.14, Set: []zone.Seen{
-			{From: "a", To: "c", Posture: zone.Returning, Step: 1, Share: 0.05, Rate: 9.5, Since: 3002, Fails: 2},
+		{"zones", 0, zonestatus.Change{Base: 2, Zones: zones, Over: 0.14, Set: []zonestatus.Seen{
+			{From: "a", To: "c", Posture: zonestatus.Returning, Step: 1, Share: 0.05, Rate: 9.5, Since: 3002, Fails: 2},
 		}}},
-		{"contracts", 2, promise.Change{Set: []promise.Contract{k1, k2, k3}}},
-		{"contracts", 2, promise.Change{Base: 1, Drop: []string{"k3"}}},
-		{"contracts", 0, promise.Change{Base: 2, Steer: []promise.Allocation{{Contract: "k1", Shares: map[string]float64{"a": 1}}}}},
-		{"contracts", 0, promise.Change{Base: 2, After: 1, Steer: []promise.Allocation{
+		{"contracts", 2, slo.Change{Set: []slo.Contract{k1, k2, k3}}},
+		{"contracts", 2, slo.Change{Base: 1, Drop: []string{"k3"}}},
+		{"contracts", 0, slo.Change{Base: 2, Steer: []slo.Allocation{{Contract: "k1", Shares: map[string]float64{"a": 1}}}}},
+		{"contracts", 0, slo.Change{Base: 2, After: 1, Steer: []slo.Allocation{
 			{Contract: "k1", Shares: map[string]float64{"a": 0.25, "b": 0.75}, Over: 0.125, Unkept: "no room"}}}},
 	}
 }
--- a/internal/fleet/share/share.go
+++ b/internal/fleet/quota/share.go
@@ -10,7 +10,7 @@
 // members. A budget of retries follows first tries (as Finagle's and gRPC's, RFC A6), and a
 // part of what others have left may be borrowed. docs/notes/fleet-limits.md derives the
 // bounds.
-package share
+package quota
 
 import (
 	"cmp"
--- a/internal/fleet/share/state.go
+++ b/internal/fleet/quota/state.go
@@ -1,4 +1,4 @@
-package share
+package quota
 
 import (
 	"slices"
--- a/internal/fleet/record/cluster_test.go
+++ b/internal/fleet/replog/cluster_test.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // patience is how long a test waits for an event before it fails.
@@ -151,12 +151,12 @@
 }
 
 // change is an entry that is taken on a version; each makes the next version.
-func change(version uint64) entry.Entry {
-	body, _ := json.Marshal(zone.Change{Base: version, Zones: []string{"z0", "z1", "z2"}, Over: float64(version%2+1) / 4})
-	return entry.Entry{Kind: entry.Zones, By: "test", Body: body}
+func change(version uint64) logentry.Entry {
+	body, _ := json.Marshal(zonestatus.Change{Base: version, Zones: []string{"z0", "z1", "z2"}, Over: float64(version%2+1) / 4})
+	return logentry.Entry{Kind: logentry.Zones, By: "test", Body: body}
 }
 
-func (f *fleet) propose(m *member) entry.Outcome {
+func (f *fleet) propose(m *member) logentry.Outcome {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/internal/fleet/record/commit_test.go
+++ b/internal/fleet/replog/commit_test.go
@@ -1,11 +1,11 @@
-package record
+package replog
 
 import (
 	"context"
 	"errors"
 	"testing"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 func TestCommitReachesAll(t *testing.T) {
@@ -62,7 +62,7 @@
 	f.propose(a)
 	answered := make(chan error, 1)
 	version := old.View().State.Zones.Version
-	var out entry.Outcome
+	var out logentry.Outcome
 	go func() {
 		var err error
 		out, err = a.Propose(context.Background(), change(version))
--- a/internal/fleet/record/enter.go
+++ b/internal/fleet/replog/enter.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
--- a/internal/fleet/record/follow.go
+++ b/internal/fleet/replog/follow.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 const (
@@ -165,11 +165,11 @@
 
 // takeEntry applies an entry that follows on what is known, if the chains agree.
 func (r *Record) takeEntry(text []byte) error {
-	const head = 8 + len(entry.Hash{})
+	const head = 8 + len(logentry.Hash{})
 	if len(text) < head {
 		return fmt.Errorf("an entry of %d bytes", len(text))
 	}
-	index, hash, raw := binary.BigEndian.Uint64(text), entry.Hash(text[8:head]), text[head:]
+	index, hash, raw := binary.BigEndian.Uint64(text), logentry.Hash(text[8:head]), text[head:]
 	s := r.hub.view.Load().State
 	if index <= s.Index { // it has come by raft, or by another upstream
 		if known, ok := r.hub.hash(index); ok && known != hash && !r.o.Ignore.Chain {
--- a/internal/fleet/record/follow_test.go
+++ b/internal/fleet/replog/follow_test.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"cmp"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 func TestCheckVoters(t *testing.T) {
@@ -151,7 +151,7 @@
 	if v := a.View(); v.State.Hash != forkedState.Hash || v.Fresh {
 		t.Errorf("%+v", v)
 	}
-	bad := entry.Hash{1}
+	bad := logentry.Hash{1}
 	before := f.members["v1"].View().State.Index
 	text := append(append([]byte{0, 0, 0, 0, 0, 0, 0, byte(before + 1)}, bad[:]...), "{}"...)
 	if err := f.members["v1"].takeEntry(text); err == nil || f.members["v1"].View().State.Index != before {
--- a/internal/fleet/record/fsm.go
+++ b/internal/fleet/replog/fsm.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"io"
@@ -6,14 +6,14 @@
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // machine applies what raft has committed. It begins at raft's snapshot, which may be
 // behind what the member knows already from others.
 type machine struct {
 	r     *Record
-	state *entry.State
+	state *logentry.State
 }
 
 // Apply takes one entry and returns its entry.Outcome.
@@ -49,7 +49,7 @@
 	return nil
 }
 
-type still struct{ state *entry.State }
+type still struct{ state *logentry.State }
 
 // Persist writes the state to raft's store.
 func (s still) Persist(to raft.SnapshotSink) error {
--- a/internal/fleet/record/hub.go
+++ b/internal/fleet/replog/hub.go
@@ -1,11 +1,11 @@
-package record
+package replog
 
 import (
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // Bounds on the entries that are kept to be served; who is further behind gets a whole state.
@@ -16,7 +16,7 @@
 
 // View is what a member knows at one time.
 type View struct {
-	State  *entry.State
+	State  *logentry.State
 	Heard  time.Time // when a leader's word was last known to hold; by the monotonic clock
 	Fresh  bool      // that was within the lease
 	Role   string    // leader, voter, follower; waiting or memory for a voter without a vote
@@ -29,7 +29,7 @@
 // line is one committed entry.
 type line struct {
 	index uint64
-	hash  entry.Hash // of the chain after it
+	hash  logentry.Hash // of the chain after it
 	raw   []byte
 }
 
@@ -43,7 +43,7 @@
 	moved chan struct{} // closed when it changes at all
 }
 
-func newHub(s *entry.State) *hub {
+func newHub(s *logentry.State) *hub {
 	h := &hub{woken: make(chan struct{}), moved: make(chan struct{})}
 	h.view.Store(&View{State: s, Role: "follower"})
 	return h
@@ -70,7 +70,7 @@
 }
 
 // put publishes the state after an entry, unless a later one is known.
-func (h *hub) put(next *entry.State, raw []byte) {
+func (h *hub) put(next *logentry.State, raw []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := h.view.Load().State.Index
@@ -124,7 +124,7 @@
 }
 
 // hash returns the chain's hash after an index, if it is still known.
-func (h *hub) hash(index uint64) (entry.Hash, bool) {
+func (h *hub) hash(index uint64) (logentry.Hash, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s := h.view.Load().State; s.Index == index {
@@ -133,7 +133,7 @@
 	if n := len(h.lines); n > 0 && index >= h.lines[0].index && index <= h.lines[n-1].index {
 		return h.lines[index-h.lines[0].index].hash, true
 	}
-	return entry.Hash{}, false
+	return logentry.Hash{}, false
 }
 
 func (h *hub) waits() (woken, moved <-chan struct{}) {
--- a/internal/fleet/record/message.go
+++ b/internal/fleet/replog/message.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"encoding/binary"
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // What a connection is for: the first byte that the caller says.
@@ -36,15 +36,15 @@
 const (
 	mostState = 64 << 20
 	mostShort = 64 << 10
-	mostEntry = entry.Largest + 8 + len(entry.Hash{})
+	mostEntry = logentry.Largest + 8 + len(logentry.Hash{})
 )
 
 // hello is a follower's first word.
 type hello struct {
-	Name  string     `json:"name"`
-	Addr  string     `json:"addr"`
-	Index uint64     `json:"index"`
-	Hash  entry.Hash `json:"hash"`
+	Name  string        `json:"name"`
+	Addr  string        `json:"addr"`
+	Index uint64        `json:"index"`
+	Hash  logentry.Hash `json:"hash"`
 }
 
 // no turns a follower away.
@@ -63,10 +63,10 @@
 
 // answer is what became of a proposal.
 type answer struct {
-	Outcome entry.Outcome `json:"outcome"`
-	Fault   string        `json:"fault,omitempty"`  // empty where Outcome counts
-	Unknown bool          `json:"unknown"`          // it may or may not become part of the log
-	Leader  string        `json:"leader,omitempty"` // of who does not lead: who does, if known
+	Outcome logentry.Outcome `json:"outcome"`
+	Fault   string           `json:"fault,omitempty"`  // empty where Outcome counts
+	Unknown bool             `json:"unknown"`          // it may or may not become part of the log
+	Leader  string           `json:"leader,omitempty"` // of who does not lead: who does, if known
 }
 
 func say(w io.Writer, kind byte, parts ...[]byte) error {
--- a/internal/fleet/record/number_test.go
+++ b/internal/fleet/replog/number_test.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // heldConn keeps what is read or written back until a time that is set.
@@ -31,7 +31,7 @@
 
 // bare is a member without a disk and a port.
 func bare(t *testing.T, name string) *Record {
-	first, err := entry.New(entry.Genesis{})
+	first, err := logentry.New(logentry.Genesis{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/record/options.go
+++ b/internal/fleet/replog/options.go
@@ -2,7 +2,7 @@
 // hashicorp/raft, the state that they add up to, and the ways by which every member hears
 // of a committed entry. Three or five voters agree; all others follow. How it is cut, its
 // bounds and what was weighed are in docs/notes/record.md.
-package record
+package replog
 
 import (
 	"errors"
@@ -12,7 +12,7 @@
 	"net/netip"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // Voter is one of the members that agree on entries.
@@ -42,7 +42,7 @@
 	Advertise string // where the others reach it, if that is elsewhere
 	Voters    []Voter
 	Key       []byte // the fleet's; 16 bytes at least
-	Genesis   entry.Genesis
+	Genesis   logentry.Genesis
 	Lease     time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
 	Peers     func() []Peer // nil where only the voters are known
 	Log       io.Writer     // raft's own lines, each with [DEBUG] in front
--- a/internal/fleet/record/propose.go
+++ b/internal/fleet/replog/propose.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // ErrUnknown is that a proposal may have become part of the log, or may yet: its answer was
@@ -30,13 +30,13 @@
 // and applied there. An entry that would not be taken is mostly refused before it is logged:
 // then Outcome.Index is 0. It is never sent twice: an answer that is lost is ErrUnknown; any
 // other error says that it is no part of the log. It waits 5 s at most.
-func (r *Record) Propose(ctx context.Context, e entry.Entry) (entry.Outcome, error) {
+func (r *Record) Propose(ctx context.Context, e logentry.Entry) (logentry.Outcome, error) {
 	raw, err := json.Marshal(&e)
 	if err != nil {
-		return entry.Outcome{}, fmt.Errorf("entry: %w", err)
+		return logentry.Outcome{}, fmt.Errorf("entry: %w", err)
 	}
-	if len(raw) > entry.Largest {
-		return entry.Outcome{}, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), entry.Largest)
+	if len(raw) > logentry.Largest {
+		return logentry.Outcome{}, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), logentry.Largest)
 	}
 	ctx, cancel := context.WithTimeout(ctx, mostWait)
 	defer cancel()
@@ -58,7 +58,7 @@
 		}
 		switch {
 		case a.Unknown:
-			return entry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrUnknown, to.Name, a.Fault)
+			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrUnknown, to.Name, a.Fault)
 		case a.Fault == "":
 			return a.Outcome, nil
 		}
@@ -72,7 +72,7 @@
 		select {
 		case <-time.After(retry):
 		case <-ctx.Done():
-			return entry.Outcome{}, fmt.Errorf("not proposed: %w: %w", ctx.Err(), last)
+			return logentry.Outcome{}, fmt.Errorf("not proposed: %w: %w", ctx.Err(), last)
 		}
 	}
 }
@@ -135,7 +135,7 @@
 func (r *Record) commit(ra *raft.Raft, raw []byte) answer {
 	if r.Leads() && r.hub.view.Load().State.Check(raw) != nil && ra.Barrier(mostWait).Error() == nil {
 		if err := r.hub.view.Load().State.Check(raw); err != nil {
-			return answer{Outcome: entry.Outcome{Reason: err.Error()}}
+			return answer{Outcome: logentry.Outcome{Reason: err.Error()}}
 		}
 	}
 	if r.o.Ignore.Commit {
@@ -147,7 +147,7 @@
 	f := ra.Apply(raw, mostWait)
 	switch err := f.Error(); {
 	case err == nil:
-		return answer{Outcome: f.Response().(entry.Outcome)}
+		return answer{Outcome: f.Response().(logentry.Outcome)}
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
 		return answer{Fault: err.Error()}
 	default:
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/replog/record.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // Record is one member's part in the record. All of it may be called from any goroutine.
@@ -20,7 +20,7 @@
 	votes bool // this member is among the voters
 	port  *port
 	hub   *hub
-	first *entry.State // before the first entry
+	first *logentry.State // before the first entry
 
 	raft  atomic.Pointer[raft.Raft] // nil while this member has no vote
 	layer atomic.Pointer[layer]     // raft's, as long
@@ -40,7 +40,7 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	first, err := entry.New(o.Genesis)
+	first, err := logentry.New(o.Genesis)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record: %w", err)
 	}
--- a/internal/fleet/record/snapshot.go
+++ b/internal/fleet/replog/snapshot.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/store"
 )
 
@@ -40,7 +40,7 @@
 }
 
 // sealState writes a state: the sum of its JSON, and that.
-func sealState(s *entry.State) ([]byte, error) {
+func sealState(s *logentry.State) ([]byte, error) {
 	text, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
@@ -49,15 +49,15 @@
 	return append(sum[:], text...), nil
 }
 
-func unsealState(b []byte) (*entry.State, error) {
+func unsealState(b []byte) (*logentry.State, error) {
 	if len(b) < sha256.Size || len(b) > mostState {
 		return nil, fmt.Errorf("state: %d bytes", len(b))
 	}
 	if sum := sha256.Sum256(b[sha256.Size:]); !bytes.Equal(sum[:], b[:sha256.Size]) {
 		return nil, errors.New("state: its sum is not good")
 	}
-	s := &entry.State{}
-	if err := entry.Strict(b[sha256.Size:], s); err != nil {
+	s := &logentry.State{}
+	if err := logentry.Strict(b[sha256.Size:], s); err != nil {
 		return nil, fmt.Errorf("state: %w", err)
 	}
 	return s, nil
--- a/internal/fleet/record/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/store"
 )
 
@@ -37,7 +37,7 @@
 func (f *stateFile) path() string { return filepath.Join(f.r.o.Dir, "state.db") }
 
 // open opens the file, if it is not open, and returns the state in it, if there is one.
-func (f *stateFile) open() (s *entry.State, err error) {
+func (f *stateFile) open() (s *logentry.State, err error) {
 	if f.st != nil {
 		return nil, nil
 	}
--- a/internal/fleet/record/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -1,4 +1,4 @@
-package record
+package replog
 
 import (
 	"bytes"
@@ -16,14 +16,14 @@
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/store"
 )
 
 // The files in testdata/stored were made by
 //
-//	go test ./internal/fleet/entry -run TestStored -update
-//	go test ./internal/fleet/record -run TestStored -update
+//	go test ./internal/fleet/logentry -run TestStored -update
+//	go test ./internal/fleet/replog -run TestStored -update
 //
 // state.sealed is the sealed state of the entry package's testdata/stored/state.json;
 // votes.db and state.db hold it too; messages.txt has a message a line, as a Go string.
@@ -46,16 +46,16 @@
 }
 
 // storedState returns the stored state, and sealed.
-func storedState(t *testing.T) (*entry.State, []byte) {
+func storedState(t *testing.T) (*logentry.State, []byte) {
 	t.Helper()
 	var written []byte
 	if *update {
-		text, err := os.ReadFile("../entry/testdata/stored/state.json")
+		text, err := os.ReadFile("../logentry/testdata/stored/state.json")
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &entry.State{}
-		if err = entry.Strict(text, s); err == nil {
+		s := &logentry.State{}
+		if err = logentry.Strict(text, s); err == nil {
 			written, err = sealState(s)
 		}
 		if err != nil {
@@ -211,7 +211,7 @@
 }
 
 // storedHash is a chain's hash whose bytes all differ.
-func storedHash() (h entry.Hash) {
+func storedHash() (h logentry.Hash) {
 	for i := range h {
 		h[i] = byte(i + 1)
 	}
@@ -228,7 +228,7 @@
 		{msgHello, &hello{Name: "m1", Addr: "127.0.0.1:7001", Index: 258, Hash: storedHash()}},
 		{msgNo, &no{Why: forked, Others: []Peer{{Name: "m2", Addr: "127.0.0.1:7002", Index: 259}}}},
 		{msgBeat, &beat{Number: 260, Age: -261, Leader: "v0", Path: []string{"v0", "m2"}}},
-		{msgAnswer, &answer{Outcome: entry.Outcome{Index: 262, Taken: true, Reason: "reason"}, Fault: "fault", Unknown: true, Leader: "v1"}},
+		{msgAnswer, &answer{Outcome: logentry.Outcome{Index: 262, Taken: true, Reason: "reason"}, Fault: "fault", Unknown: true, Leader: "v1"}},
 		{msgAsk, &ask{Want: wantWho, Name: "v0", Applied: 263}},
 		{msgAsk, &ask{Want: wantBack, Name: "v1", Applied: 264}},
 		{msgAsk, &ask{Want: wantVote, Name: "v2", Applied: 265}},
--- a/internal/fleet/promise/explore.go
+++ b/internal/fleet/slo/explore.go
@@ -1,4 +1,4 @@
-package promise
+package slo
 
 import (
 	"cmp"
--- a/internal/fleet/promise/types.go
+++ b/internal/fleet/slo/types.go
@@ -5,7 +5,7 @@
 // A node counts response times in a Tally and tells them as Samples; a Fleet merges those of
 // all members and hands out what was Seen in each part of time that is over; a Steer judges
 // it and, at the leader, proposes Changes of the record's State.
-package promise
+package slo
 
 import (
 	"fmt"
--- a/internal/fleet/zone/types.go
+++ b/internal/fleet/zonestatus/types.go
@@ -2,7 +2,7 @@
 // are returned to. It does no I/O, reads no clock and starts no goroutine: what members saw
 // and the record's state come in, changes of the record and bounds on draws go out.
 // docs/notes/zones.md derives the bounds.
-package zone
+package zonestatus
 
 import "time"
 
--- a/internal/flow/evidence_test.go
+++ b/internal/flowtable/evidence_test.go
@@ -1,4 +1,4 @@
-package flow
+package flowtable
 
 import (
 	"testing"
--- a/internal/flow/table.go
+++ b/internal/flowtable/table.go
@@ -2,7 +2,7 @@
 // fixed size, which are forgotten, which newcomers are turned away, and how many
 // wait. It does no I/O, reads no clock and starts no goroutine: time is an argument,
 // counted from any fixed moment. Nothing is allocated for a datagram.
-package flow
+package flowtable
 
 import (
 	"hash/maphash"
--- a/internal/flow/waiting.go
+++ b/internal/flowtable/waiting.go
@@ -1,4 +1,4 @@
-package flow
+package flowtable
 
 // Room bounds the datagrams that wait for decisions, in all flows together.
 type Room struct {
--- a/internal/handover/commit_test.go
+++ b/internal/hotrestart/commit_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"encoding/json"
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -45,7 +45,7 @@
 }
 
 // offered is what a giver offers by hand, and where it does.
-func offered(t *testing.T, dir string, s exchange.Standing) (conn *net.UnixConn, caller, client, hop, feed net.Conn) {
+func offered(t *testing.T, dir string, s proxy.Standing) (conn *net.UnixConn, caller, client, hop, feed net.Conn) {
 	t.Helper()
 	conn = give(t, dir).conn
 	conn.SetDeadline(time.Now().Add(patience))
@@ -75,7 +75,7 @@
 			dir, next := t.TempDir(), newNode(t)
 			serve(t, dir, next)
 			close(next.may)
-			conn, caller, client, hop, feed := offered(t, dir, exchange.Standing{Server: "s1",
+			conn, caller, client, hop, feed := offered(t, dir, proxy.Standing{Server: "s1",
 				FromCaller: []byte("are"), FromHop: []byte("LOA")})
 			wait(t, next.asked)
 			reads(t, conn, prepared)
@@ -116,7 +116,7 @@
 	dir, next := t.TempDir(), newNode(t)
 	stop := serve(t, dir, next)
 	close(next.may)
-	conn, caller, client, hop, feed := offered(t, dir, exchange.Standing{Server: "s1"})
+	conn, caller, client, hop, feed := offered(t, dir, proxy.Standing{Server: "s1"})
 	wait(t, next.asked)
 	reads(t, conn, prepared)
 	stop()
--- a/internal/handover/giver.go
+++ b/internal/hotrestart/giver.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 // Giver hands connections to the process that serves at a name in a folder. It is an
@@ -36,7 +36,7 @@
 // Take hands one connection over, within a time that its wait for others counts in. The
 // transaction closes its copies then. If it is false, the taker has neither read nor
 // written anything, and never will.
-func (g *Giver) Take(s exchange.Standing, caller, hop net.Conn) bool {
+func (g *Giver) Take(s proxy.Standing, caller, hop net.Conn) bool {
 	text, err := json.Marshal(s)
 	if err != nil || len(text) > largest {
 		return false
--- a/internal/handover/giver_test.go
+++ b/internal/hotrestart/giver_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"fmt"
@@ -13,8 +13,8 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/proxy"
 )
 
 // Both connections go over with all that belongs to them, and outlive the giver's copies,
@@ -34,9 +34,9 @@
 			caller, client := pair(t)
 			hop, feed := pair(t)
 			_ = caller.(*net.TCPConn).SetNoDelay(false) // whatever it was set to
-			s := exchange.Standing{Request: exchange.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
-				Deadline: time.Now()}, Server: "s1", FromCaller: []byte(strings.Repeat("\xff", leg.Size)),
-				FromHop: []byte(strings.Repeat("\x00", leg.Size)), Pending: time.Now()}
+			s := proxy.Standing{Request: proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
+				Deadline: time.Now()}, Server: "s1", FromCaller: []byte(strings.Repeat("\xff", bufconn.Size)),
+				FromHop: []byte(strings.Repeat("\x00", bufconn.Size)), Pending: time.Now()}
 			if !g.Take(s, caller, hop) {
 				t.Fatalf("connection %d was not taken", i)
 			}
@@ -75,7 +75,7 @@
 	g.Tell(balance.Memory{Usual: 0.25, Answers: 1}) // of no fleet
 	caller, _ := pair(t)
 	hop, _ := pair(t)
-	if !g.Take(exchange.Standing{Server: "s1"}, caller, hop) {
+	if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
 		t.Error("a connection was not taken after it")
 	}
 	k.mu.Lock()
@@ -131,7 +131,7 @@
 			for range 3 { // only the first may cost time
 				caller, client := pair(t)
 				hop, feed := pair(t)
-				if g.Take(exchange.Standing{Server: "s1"}, caller, hop) {
+				if g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
 					t.Fatal("taken")
 				}
 				works(t, caller, client)
--- a/internal/handover/handover.go
+++ b/internal/hotrestart/handover.go
@@ -4,7 +4,7 @@
 // them yet. The giver then commits, and only that makes them the taker's: whatever is late
 // or lost before it, they are the giver's alone. Messages without sockets tell what the
 // process has learned of its fleet.
-package handover
+package hotrestart
 
 import (
 	"errors"
@@ -18,7 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 const (
@@ -28,7 +28,7 @@
 	within = 500 * time.Millisecond
 	// largest bounds a message: what was read and not used, twice, in base64, and the
 	// request.
-	largest = 8 * leg.Size
+	largest = 8 * bufconn.Size
 	// version stands before a name: processes that don't agree on what is said don't meet,
 	// and what stands is moved.
 	version = "handover2-"
--- a/internal/handover/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"context"
@@ -10,20 +10,20 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 // taker keeps what it is given, unless it wants nothing.
 type taker struct {
 	mu      sync.Mutex
 	wants   bool
-	given   []exchange.Standing
+	given   []proxy.Standing
 	caller  []net.Conn
 	hop     []net.Conn
 	learned []balance.Memory
 }
 
-func (k *taker) Adopt(s exchange.Standing, caller, hop net.Conn) bool {
+func (k *taker) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.wants {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (k *taker) last() (s exchange.Standing, caller, hop net.Conn) {
+func (k *taker) last() (s proxy.Standing, caller, hop net.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	n := len(k.given) - 1
--- a/internal/handover/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"io"
@@ -7,10 +7,10 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 func newNode(t *testing.T) *node {
@@ -19,26 +19,26 @@
 	return n
 }
 
-func (n *node) CallerGone(decide.Item)                 {}
-func (n *node) Ended(_ decide.Item, o balance.Outcome) { n.ended <- o }
-func (n *node) Learn(balance.Memory)                   {}
+func (n *node) CallerGone(dispatch.Item)                 {}
+func (n *node) Ended(_ dispatch.Item, o balance.Outcome) { n.ended <- o }
+func (n *node) Learn(balance.Memory)                     {}
 
-func (n *node) Adopt(s exchange.Standing, caller, hop net.Conn) bool {
+func (n *node) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
 	n.asked <- struct{}{}
 	<-n.may
-	n.runs.Go(exchange.Inherit(s, line.Front{}, n, caller, hop).Run)
+	n.runs.Go(proxy.Inherit(s, lineproto.Front{}, n, caller, hop).Run)
 	return true
 }
 
 // stands brings a connection up, and returns it with its far ends.
-func (n *node) stands(t *testing.T) (x *exchange.Transaction, client, feed net.Conn, finished <-chan struct{}) {
+func (n *node) stands(t *testing.T) (x *proxy.Transaction, client, feed net.Conn, finished <-chan struct{}) {
 	t.Helper()
 	caller, client := pair(t)
 	hop, feed := pair(t)
-	x = exchange.New(exchange.Request{ID: "a"}, nil, line.Front{}, n, leg.New(caller))
+	x = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Front{}, n, bufconn.New(caller))
 	done := make(chan struct{})
 	go func() { defer close(done); x.Run() }()
-	if !x.Up("UP r1", "s1", leg.New(hop)) {
+	if !x.Up("UP r1", "s1", bufconn.New(hop)) {
 		t.Fatal("Up was not taken")
 	}
 	for _, c := range []net.Conn{client, feed} {
--- a/internal/handover/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"encoding/json"
@@ -13,19 +13,19 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 // The files in testdata/stored are the messages that two versions of the process exchange.
 // They were made, before the fields had tags, by
 //
-//	go test ./internal/handover -run TestStored -update
+//	go test ./internal/hotrestart -run TestStored -update
 var update = flag.Bool("update", false, "rewrite testdata/stored by what is written now")
 
 // storedStanding is what standing.json holds, and storedMemory what lesson.json does.
 var (
-	storedStanding = exchange.Standing{
-		Request: exchange.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", At: "s9", Hint: 0.25,
+	storedStanding = proxy.Standing{
+		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", At: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
 			Bound: &balance.Bound{Name: "acme/web", Zones: []balance.ZonePart{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, Rest: 0.125}},
 		Server: "s3", FromCaller: []byte("are"), FromHop: []byte("LOA"), Pending: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
@@ -151,7 +151,7 @@
 	if len(k.learned) != 1 || !reflect.DeepEqual(k.learned[0], storedMemory) {
 		t.Errorf("learned %+v\nwant %+v", k.learned, storedMemory)
 	}
-	var again exchange.Standing // in the stored message both are true
+	var again proxy.Standing // in the stored message both are true
 	if err := json.Unmarshal([]byte(`{"Retry":true}`), &again); err != nil || !again.Retry || again.Returned {
 		t.Errorf("read %+v, %v", again, err)
 	}
--- a/internal/handover/taker.go
+++ b/internal/hotrestart/taker.go
@@ -1,4 +1,4 @@
-package handover
+package hotrestart
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/proxy"
 )
 
 // again is the pause after a giver could not be accepted.
@@ -25,7 +25,7 @@
 // one that its giver still holds: nothing is read or written before s.Hold is committed.
 // If it is false, the connections are the caller's to close.
 type Taker interface {
-	Adopt(s exchange.Standing, caller, hop net.Conn) bool
+	Adopt(s proxy.Standing, caller, hop net.Conn) bool
 	Learn(m balance.Memory)
 }
 
@@ -153,7 +153,7 @@
 }
 
 // prepare has one connection adopted, and held until the giver has let go of it.
-func prepare(message, rights []byte, whole bool, to Taker) (*exchange.Hold, error) {
+func prepare(message, rights []byte, whole bool, to Taker) (*proxy.Hold, error) {
 	conns, err := received(rights)
 	if err == nil && !whole {
 		err = errors.New("a message came cut off")
@@ -161,14 +161,14 @@
 	if err == nil && len(conns) != 2 {
 		err = fmt.Errorf("%d connections in a message, want 2", len(conns))
 	}
-	var s exchange.Standing
+	var s proxy.Standing
 	if err == nil {
 		err = json.Unmarshal(message, &s)
 	}
-	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > leg.Size {
+	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > bufconn.Size {
 		err = errors.New("more was read than a buffer holds")
 	}
-	s.Hold = exchange.NewHold()
+	s.Hold = proxy.NewHold()
 	if err == nil && !to.Adopt(s, conns[0], conns[1]) {
 		err = fmt.Errorf("%s: its id is in use, or this process ends too", s.ID)
 	}
--- a/internal/beside/beside.go
+++ b/internal/instancelock/beside.go
@@ -1,6 +1,6 @@
 // Package beside tells two processes that are one node, the old one and its
 // successor, about each other: whether the other lives, and how many sockets it uses.
-package beside
+package instancelock
 
 import (
 	"encoding/binary"
--- a/internal/beside/beside_test.go
+++ b/internal/instancelock/beside_test.go
@@ -1,4 +1,4 @@
-package beside
+package instancelock
 
 import (
 	"errors"
--- a/internal/beside/stored_test.go
+++ b/internal/instancelock/stored_test.go
@@ -1,4 +1,4 @@
-package beside
+package instancelock
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 
 // testdata/stored holds the file that two processes share, under its real name. It was made by
 //
-//	go test ./internal/beside -run TestStored -update
+//	go test ./internal/instancelock -run TestStored -update
 //
 // Two processes write exactly these bytes.
 func TestStoredFileIsWritten(t *testing.T) {
--- a/internal/keyfile/keyfile.go
+++ b/internal/keyfile/keyfile.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 const (
@@ -29,12 +29,12 @@
 
 // New writes a fresh key into the folder, which signs from the given time on, and
 // returns its file.
-func New(folder string, signsFrom time.Time) (path string, id resume.KeyID, err error) {
-	var raw [4 + resume.SecretSize]byte
+func New(folder string, signsFrom time.Time) (path string, id resumetoken.KeyID, err error) {
+	var raw [4 + resumetoken.SecretSize]byte
 	if _, err := rand.Read(raw[:]); err != nil {
 		return "", 0, err
 	}
-	id = resume.KeyID(binary.BigEndian.Uint32(raw[:]))
+	id = resumetoken.KeyID(binary.BigEndian.Uint32(raw[:]))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return "", 0, err
 	}
@@ -58,7 +58,7 @@
 }
 
 // Load reads a folder's keys.
-func Load(folder string) (*resume.Ring, error) {
+func Load(folder string) (*resumetoken.Ring, error) {
 	paths, err := files(folder)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 	if len(paths) > most {
 		return nil, fmt.Errorf("%s: %d keys, at most %d are read; remove those whose tokens have expired", folder, len(paths), most)
 	}
-	var keys []*resume.Key
+	var keys []*resumetoken.Key
 	for _, path := range paths {
 		k, err := read(path)
 		if err != nil {
@@ -77,10 +77,10 @@
 		}
 		keys = append(keys, k)
 	}
-	return resume.NewRing(keys...)
+	return resumetoken.NewRing(keys...)
 }
 
-func read(path string) (*resume.Key, error) {
+func read(path string) (*resumetoken.Key, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
@@ -123,5 +123,5 @@
 	if err != nil {
 		return nil, errors.New("secret: not hexadecimal") // the text itself stays out of the log
 	}
-	return resume.NewKey(resume.KeyID(id), from, secret)
+	return resumetoken.NewKey(resumetoken.KeyID(id), from, secret)
 }
--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // The files of testdata/stored were made by
@@ -87,9 +87,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var want []*resume.Key // that which signs last first
+	var want []*resumetoken.Key // that which signs last first
 	for _, k := range []struct {
-		id     resume.KeyID
+		id     resumetoken.KeyID
 		from   time.Time
 		secret string
 	}{
@@ -100,7 +100,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		key, err := resume.NewKey(k.id, k.from, secret)
+		key, err := resumetoken.NewKey(k.id, k.from, secret)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/line/front.go
+++ b/internal/lineproto/front.go
@@ -1,11 +1,11 @@
-package line
+package lineproto
 
 import (
 	"bytes"
 	"strconv"
 	"time"
 
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 // Front words a transaction's final answers in the platform's protocol and
@@ -27,17 +27,17 @@
 func (Front) Move() string { return Move }
 
 // Notice tells what a next hop's line after UP says.
-func (Front) Notice(text []byte) exchange.Notice {
+func (Front) Notice(text []byte) proxy.Notice {
 	text = bytes.TrimRight(text, "\r\n")
 	switch {
 	case bytes.HasPrefix(text, []byte("LOAD ")):
 		if _, err := number(string(text[len("LOAD "):])); err == nil {
-			return exchange.NoticeLoad
+			return proxy.NoticeLoad
 		}
 	case bytes.Equal(text, []byte(Move)):
-		return exchange.NoticeMove
+		return proxy.NoticeMove
 	case bytes.Equal(text, []byte("BYE")), bytes.HasPrefix(text, []byte("BYE ")):
-		return exchange.NoticeBye
+		return proxy.NoticeBye
 	}
-	return exchange.NoticeOther
+	return proxy.NoticeOther
 }
--- a/internal/line/line.go
+++ b/internal/lineproto/line.go
@@ -1,6 +1,6 @@
 // Package line is the platform's protocol and nothing else: first lines, final
 // answers, load reports. It decides nothing and does no I/O.
-package line
+package lineproto
 
 import (
 	"bytes"
