--- a/internal/line/line_test.go
+++ b/internal/lineproto/line_test.go
@@ -1,4 +1,4 @@
-package line
+package lineproto
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
+	"coralrelay/internal/proxy"
 )
 
 func TestParseOpen(t *testing.T) {
@@ -127,12 +127,12 @@
 func TestNotice(t *testing.T) {
 	tests := []struct {
 		line string
-		want exchange.Notice
+		want proxy.Notice
 	}{
-		{"LOAD 9407.5\r\n", exchange.NoticeLoad}, {"LOAD much\r\n", exchange.NoticeOther},
-		{"MOVE\r\n", exchange.NoticeMove}, {"BYE\r\n", exchange.NoticeBye},
-		{"BYE inflight=7\r\n", exchange.NoticeBye}, {"BYEBYE\r\n", exchange.NoticeOther},
-		{"price 7\r\n", exchange.NoticeOther},
+		{"LOAD 9407.5\r\n", proxy.NoticeLoad}, {"LOAD much\r\n", proxy.NoticeOther},
+		{"MOVE\r\n", proxy.NoticeMove}, {"BYE\r\n", proxy.NoticeBye},
+		{"BYE inflight=7\r\n", proxy.NoticeBye}, {"BYEBYE\r\n", proxy.NoticeOther},
+		{"price 7\r\n", proxy.NoticeOther},
 	}
 	for _, tt := range tests {
 		if got := (Front{}).Notice([]byte(tt.line)); got != tt.want {
--- a/internal/line/stream.go
+++ b/internal/lineproto/stream.go
@@ -1,4 +1,4 @@
-package line
+package lineproto
 
 import (
 	"bytes"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // The words of resumable streams, beyond the platform's protocol. A caller that
@@ -40,7 +40,7 @@
 
 // Start words the line that starts a stream. came is when its caller did: it can't
 // have seen anything later.
-func Start(o resume.Outcome, came time.Time) string {
+func Start(o resumetoken.Outcome, came time.Time) string {
 	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
 	switch {
 	case o.Resume:
@@ -54,15 +54,15 @@
 // Reading follows the position in a stream as its lines pass. Its zero value has
 // none yet.
 type Reading struct {
-	pos   resume.Position
+	pos   resumetoken.Position
 	known bool
 	left  int // lines of a snapshot that are still to come
-	next  resume.Position
+	next  resumetoken.Position
 }
 
 // Position is how far the lines seen so far go. There is none before the stream
 // says so, nor within a snapshot: half of one is nothing to go on from.
-func (r *Reading) Position() (resume.Position, bool) { return r.pos, r.known }
+func (r *Reading) Position() (resumetoken.Position, bool) { return r.pos, r.known }
 
 // Pass takes one line of the next hop's.
 func (r *Reading) Pass(text []byte) {
@@ -86,7 +86,7 @@
 		at, count, _ := bytes.Cut(rest, []byte(" "))
 		n, err := strconv.Atoi(string(count))
 		r.known = false
-		if pos, err2 := resume.ParsePosition(string(at)); err == nil && err2 == nil && n >= 0 {
+		if pos, err2 := resumetoken.ParsePosition(string(at)); err == nil && err2 == nil && n >= 0 {
 			r.next, r.left = pos, n
 			if n == 0 {
 				r.pos, r.known = pos, true
@@ -96,7 +96,7 @@
 	}
 	for _, word := range []string{resumed, position} {
 		if rest, ok := bytes.CutPrefix(text, []byte(word)); ok {
-			pos, err := resume.ParsePosition(string(rest))
+			pos, err := resumetoken.ParsePosition(string(rest))
 			r.pos, r.known = pos, err == nil
 			return
 		}
--- a/internal/line/stream_test.go
+++ b/internal/lineproto/stream_test.go
@@ -1,11 +1,11 @@
-package line
+package lineproto
 
 import (
 	"strings"
 	"testing"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // The position is that of the last whole line, and none where a client could not
@@ -42,11 +42,11 @@
 
 func TestStart(t *testing.T) {
 	came := time.UnixMilli(1234)
-	pos := resume.Position{Epoch: 0xc0, Offset: 41}
-	for want, o := range map[string]resume.Outcome{
+	pos := resumetoken.Position{Epoch: 0xc0, Offset: 41}
+	for want, o := range map[string]resumetoken.Outcome{
 		"START":                     {},
 		"START after=c0:41 at=1234": {Floor: true, Pos: pos},
-		"START resume=c0:41 at=1234 id=01000000000000000000000000000000": {Resume: true, Pos: pos, Nonce: resume.Nonce{1}},
+		"START resume=c0:41 at=1234 id=01000000000000000000000000000000": {Resume: true, Pos: pos, Nonce: resumetoken.Nonce{1}},
 	} {
 		if got := Start(o, came); got != want {
 			t.Errorf("%q, want %q", got, want)
--- a/internal/figures/figures.go
+++ b/internal/metrics/figures.go
@@ -1,6 +1,6 @@
 // Package figures counts what operators ask for: by class, for as long as the process
 // lives. Counting is an atomic add, where the thing counted has happened.
-package figures
+package metrics
 
 import (
 	"fmt"
--- a/internal/figures/figures_test.go
+++ b/internal/metrics/figures_test.go
@@ -1,4 +1,4 @@
-package figures
+package metrics
 
 import (
 	"strings"
--- a/internal/sabotage/on.go
+++ b/internal/mutation/on.go
@@ -1,6 +1,6 @@
-//go:build sabotage
+//go:build mutation
 
-package sabotage
+package mutation
 
 import "os"
 
--- a/internal/operator/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -1,11 +1,11 @@
-package operator
+package operatorconfig
 
 import (
 	"net/netip"
 	"time"
 )
 
-// Fleet is what nodes share with one another, through the agent beside each (coralfleet).
+// Fleet is what nodes share with one another, through the agent beside each (coralagent).
 type Fleet struct {
 	Agent     string   `json:"agent"`     // where the agent answers its node; empty for off
 	Name      string   `json:"name"`      // of the member; others must not have it
--- a/internal/operator/operator.go
+++ b/internal/operatorconfig/operator.go
@@ -1,7 +1,7 @@
 // Package operator is the operator's own file: what this installation switches on
 // beyond the platform. Its records are typed; the schema in CUE is beside it, in
 // package schema, and the node reads the JSON that 'coralctl export' makes of it.
-package operator
+package operatorconfig
 
 import (
 	"errors"
--- a/internal/operator/promises.go
+++ b/internal/operatorconfig/promises.go
@@ -1,9 +1,9 @@
-package operator
+package operatorconfig
 
 import (
 	"time"
 
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/slo"
 )
 
 // Promises is how the fleet keeps contracts on response times. All members have it alike.
@@ -26,15 +26,15 @@
 }
 
 func defaultPromises() Promises {
-	d := promise.Default()
+	d := slo.Default()
 	in := func(t time.Duration) Duration { return Duration{t} }
 	return Promises{Part: in(d.Part), Parts: d.Parts, Late: in(d.Late), Cells: d.Cells, Z: d.Z, Need: d.Need, Period: in(d.Period),
 		Step: d.Step, Inflow: d.Inflow, Fill: d.Fill, Patience: in(d.Patience), Margin: d.Margin, Explore: d.Explore, Pace: 1}
 }
 
 // Config is what package promise takes.
-func (p *Promises) Config() promise.Config {
-	return promise.Config{Part: p.Part.Duration, Parts: p.Parts, Late: p.Late.Duration, Cells: p.Cells, Z: p.Z, Need: p.Need,
+func (p *Promises) Config() slo.Config {
+	return slo.Config{Part: p.Part.Duration, Parts: p.Parts, Late: p.Late.Duration, Cells: p.Cells, Z: p.Z, Need: p.Need,
 		Period: p.Period.Duration, Step: p.Step, Inflow: p.Inflow, Fill: p.Fill, Patience: p.Patience.Duration, Margin: p.Margin, Explore: p.Explore}
 }
 
--- a/internal/operator/record.go
+++ b/internal/operatorconfig/record.go
@@ -1,4 +1,4 @@
-package operator
+package operatorconfig
 
 import (
 	"encoding/base64"
--- a/internal/operator/schema/operator.cue
+++ b/internal/operatorconfig/schema/operator.cue
@@ -97,7 +97,7 @@
 }
 
 fleet: {
-	// where the agent beside this node (coralfleet) answers it; empty for off
+	// where the agent beside this node (coralagent) answers it; empty for off
 	agent: #Address | *""
 	// of the member; no other may have it
 	name: string & =~"^.{0,64}$" | *""
--- a/internal/operator/schema/schema.go
+++ b/internal/operatorconfig/schema/schema.go
@@ -13,7 +13,7 @@
 	"cuelang.org/go/cue/errors"
 	"cuelang.org/go/cue/format"
 
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 //go:embed operator.cue
@@ -49,7 +49,7 @@
 		return nil, explain(name, want, got, err)
 	}
 	// The node's own check has the last word: both have to agree.
-	if _, err := operator.Parse(raw); err != nil {
+	if _, err := operatorconfig.Parse(raw); err != nil {
 		return nil, explainFaults(name, got, err)
 	}
 	return raw, nil
--- a/internal/operator/schema/schema_test.go
+++ b/internal/operatorconfig/schema/schema_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 // The schema's defaults are the node's, and the example in deploy has them all.
@@ -20,12 +20,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := operator.Parse(raw)
+		got, err := operatorconfig.Parse(raw)
 		if err != nil {
 			t.Fatal(err)
 		}
 		a, _ := json.Marshal(got)
-		want := operator.Default()
+		want := operatorconfig.Default()
 		want.Resume.Ledger.Peers = got.Resume.Ledger.Peers // none and nil are one
 		if b, _ := json.Marshal(want); string(a) != string(b) || len(got.Resume.Ledger.Peers) > 0 {
 			t.Errorf("%s: %s\nwant %s", name, a, b)
--- a/internal/operator/zones.go
+++ b/internal/operatorconfig/zones.go
@@ -1,10 +1,10 @@
-package operator
+package operatorconfig
 
 import (
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/zone"
+	"coralrelay/internal/fleet/zonestatus"
 )
 
 // Zones is how the fleet leaves zones and returns to them. All members have it alike.
@@ -36,7 +36,7 @@
 }
 
 func defaultZones() Zones {
-	d := zone.Default()
+	d := zonestatus.Default()
 	in := func(t time.Duration) Duration { return Duration{t} }
 	return Zones{Regions: map[string][]string{}, Zones: []string{}, Fresh: in(d.Fresh), Skew: in(d.Skew), Confirm: in(d.Confirm),
 		Settle: in(d.Settle), Steady: in(d.Steady), Gap: in(d.Gap), Hold: in(d.Hold), HoldMost: in(d.HoldMost), Quiet: in(d.Quiet),
@@ -45,8 +45,8 @@
 }
 
 // Config is what package zone takes.
-func (z *Zones) Config() zone.Config {
-	return zone.Config{Regions: z.Regions, Zones: z.Zones, Fresh: z.Fresh.Duration, Skew: z.Skew.Duration, Confirm: z.Confirm.Duration,
+func (z *Zones) Config() zonestatus.Config {
+	return zonestatus.Config{Regions: z.Regions, Zones: z.Zones, Fresh: z.Fresh.Duration, Skew: z.Skew.Duration, Confirm: z.Confirm.Duration,
 		Settle: z.Settle.Duration, Steady: z.Steady.Duration, Gap: z.Gap.Duration, Hold: z.Hold.Duration, HoldMost: z.HoldMost.Duration,
 		Quiet: z.Quiet.Duration, Ramp: z.Ramp.Duration, Enough: z.Enough, Lost: z.Lost, Most: z.Most, High: z.High, Cold: z.Cold,
 		Multiple: z.Multiple, Bears: z.Bears, Store: z.Store, Steps: z.Steps}
--- a/internal/exchange/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 // The one final answer, and callers that leave before it.
 
--- a/internal/exchange/continuity.go
+++ b/internal/proxy/continuity.go
@@ -1,4 +1,4 @@
-package exchange
+package proxy
 
 // What lets a caller that is moved go on where it was.
 
--- a/internal/exchange/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 // What comes between two steps of a transaction that stands or is about to.
 
@@ -10,7 +10,7 @@
 	"testing"
 
 	"coralrelay/balance"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 // A next hop that says more than a line may have, or never ends its line, was broken off
@@ -18,7 +18,7 @@
 func TestEndlessLineMoves(t *testing.T) {
 	b := start(t)
 	b.up(t)
-	say(t, b.hop, "whole\r\n"+strings.Repeat("x", leg.Size+1))
+	say(t, b.hop, "whole\r\n"+strings.Repeat("x", bufconn.Size+1))
 	b.expect(t, b.fromNode, "whole\r\n")
 	b.expect(t, b.fromNode, "MOVE\r\n")
 	if how := wait(t, b.ended); how != balance.Reset {
--- a/internal/exchange/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,7 @@
 // Package exchange holds the transaction: the one object in which the caller's
 // side and the next hop's side meet. It keeps the promise of one final answer,
 // exactly once, and after UP relays lines both ways until either side ends.
-package exchange
+package proxy
 
 import (
 	"context"
@@ -9,13 +9,13 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/metrics"
 )
 
 // Request is what a front tells of a transaction when it starts.
-type Request = decide.Request
+type Request = dispatch.Request
 
 // Opening words the first line for a next hop.
 type Opening interface {
@@ -81,16 +81,16 @@
 // Watcher is told what becomes of a transaction, as decide.Core has it. Its methods
 // must not wait for the transaction.
 type Watcher interface {
-	CallerGone(item decide.Item)                     // while it waited for its answer, or was turned away meanwhile
-	Ended(item decide.Item, outcome balance.Outcome) // after UP; nothing passes any more
+	CallerGone(item dispatch.Item)                     // while it waited for its answer, or was turned away meanwhile
+	Ended(item dispatch.Item, outcome balance.Outcome) // after UP; nothing passes any more
 }
 
 // answer is what the deciding side hands to the caller's side.
 type answer struct {
-	line string   // empty where another process has given it
-	hop  *leg.Leg // set if the line is a next hop's UP
-	from string   // and then: whose
-	busy bool     // else: it refuses rather than fails
+	line string       // empty where another process has given it
+	hop  *bufconn.Leg // set if the line is a next hop's UP
+	from string       // and then: whose
+	busy bool         // else: it refuses rather than fails
 }
 
 // Transaction is one request and the connection it becomes.
@@ -98,38 +98,38 @@
 	Request
 	Opening
 	Continuity                // nil if its caller did not ask for it
-	Figures    *figures.Class // counts its answer as written; nil if nobody asks
+	Figures    *metrics.Class // counts its answer as written; nil if nobody asks
 
 	front  Front
 	watch  Watcher
-	caller *leg.Leg
+	caller *bufconn.Leg
 
 	ctx    context.Context // ends when the caller has left or is answered
 	cancel context.CancelFunc
 	final  chan answer // holds the one final answer
 
 	mu      sync.Mutex
-	settled bool      // a final answer was given, or the caller has left
-	gone    bool      // the caller has left
-	hop     *leg.Leg  // after UP
-	server  string    // and whose it is
-	heir    Heir      // who is to go on with it; nil if nobody
-	offered bool      // it has been asked
-	moving  bool      // a MOVE is wanted
-	closing bool      // the caller leg is about to be closed
-	pending time.Time // when the oldest unanswered line of the caller went on
-	looked  bool      // it was found missing, and is looked for once more
+	settled bool         // a final answer was given, or the caller has left
+	gone    bool         // the caller has left
+	hop     *bufconn.Leg // after UP
+	server  string       // and whose it is
+	heir    Heir         // who is to go on with it; nil if nobody
+	offered bool         // it has been asked
+	moving  bool         // a MOVE is wanted
+	closing bool         // the caller leg is about to be closed
+	pending time.Time    // when the oldest unanswered line of the caller went on
+	looked  bool         // it was found missing, and is looked for once more
 }
 
 // New returns a transaction for a request that came on the caller leg.
-func New(r Request, o Opening, f Front, w Watcher, caller *leg.Leg) *Transaction {
+func New(r Request, o Opening, f Front, w Watcher, caller *bufconn.Leg) *Transaction {
 	t := &Transaction{Request: r, Opening: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
 
 // Asked is the request, for the deciding side.
-func (t *Transaction) Asked() *decide.Request { return &t.Request }
+func (t *Transaction) Asked() *dispatch.Request { return &t.Request }
 
 // Context ends when no branch is wanted any more: the caller has left, or the
 // final answer was given.
@@ -171,7 +171,7 @@
 // Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
-func (t *Transaction) Up(line, server string, hop *leg.Leg) bool {
+func (t *Transaction) Up(line, server string, hop *bufconn.Leg) bool {
 	return t.settle(answer{line: line, from: server, hop: hop})
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 import (
 	"bufio"
@@ -9,10 +9,10 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -46,14 +46,14 @@
 	ended chan balance.Outcome
 }
 
-func (w *watcher) CallerGone(decide.Item)                 { close(w.gone) }
-func (w *watcher) Ended(_ decide.Item, o balance.Outcome) { w.ended <- o }
+func (w *watcher) CallerGone(dispatch.Item)                 { close(w.gone) }
+func (w *watcher) Ended(_ dispatch.Item, o balance.Outcome) { w.ended <- o }
 
 // bench is a transaction between two parties on real sockets.
 type bench struct {
 	*watcher
-	t           *exchange.Transaction
-	hopLeg      *leg.Leg
+	t           *proxy.Transaction
+	hopLeg      *bufconn.Leg
 	caller, hop net.Conn // the far ends
 	fromNode    *bufio.Reader
 	fromCaller  *bufio.Reader
@@ -77,9 +77,9 @@
 // newBench is a bench whose transaction does not run yet.
 func newBench(near, caller, hopNear, hop net.Conn) *bench {
 	w := &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
-	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: leg.New(hopNear), fromNode: bufio.NewReader(caller),
+	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: bufconn.New(hopNear), fromNode: bufio.NewReader(caller),
 		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
-	b.t = exchange.New(exchange.Request{ID: "a"}, opening{}, line.Front{}, w, leg.New(near))
+	b.t = proxy.New(proxy.Request{ID: "a"}, opening{}, lineproto.Front{}, w, bufconn.New(near))
 	return b
 }
 
--- a/internal/exchange/heir.go
+++ b/internal/proxy/heir.go
@@ -1,4 +1,4 @@
-package exchange
+package proxy
 
 import (
 	"bytes"
@@ -7,8 +7,8 @@
 	"net"
 	"time"
 
-	"coralrelay/internal/decide"
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
 )
 
 // Standing is what another process needs, besides the two connections, to go on with
@@ -53,7 +53,7 @@
 
 // pass hands over what both relays have stopped for. If it is not taken, its caller is to
 // be moved.
-func (t *Transaction) pass(hop *leg.Leg) End {
+func (t *Transaction) pass(hop *bufconn.Leg) End {
 	t.mu.Lock()
 	gone, moving, to := t.gone, t.moving, t.heir
 	t.offered = true
@@ -107,8 +107,8 @@
 
 // resume returns a Leg on conn from which another process had read some bytes that it did
 // not use. It is not read before the hold ends, if there is one.
-func (h *Hold) resume(conn net.Conn, read []byte) *leg.Leg {
-	l := leg.Resume(conn, read)
+func (h *Hold) resume(conn net.Conn, read []byte) *bufconn.Leg {
+	l := bufconn.Resume(conn, read)
 	if h != nil {
 		l.R.Reset(io.MultiReader(h, bytes.NewReader(read), conn))
 	}
@@ -130,4 +130,4 @@
 	return t
 }
 
-var _ decide.Item = (*Transaction)(nil)
+var _ dispatch.Item = (*Transaction)(nil)
--- a/internal/exchange/heir_test.go
+++ b/internal/proxy/heir_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 import (
 	"io"
@@ -7,8 +7,8 @@
 	"testing"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/line"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 // heir is another process, whose answer waits until the test gives it.
@@ -16,7 +16,7 @@
 	t     *testing.T
 	asked chan struct{}
 	takes chan bool
-	s     exchange.Standing
+	s     proxy.Standing
 	*watcher
 	finished chan struct{}
 }
@@ -26,7 +26,7 @@
 		watcher: &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}}
 }
 
-func (h *heir) Take(s exchange.Standing, caller, hop net.Conn) bool {
+func (h *heir) Take(s proxy.Standing, caller, hop net.Conn) bool {
 	copied := func(c net.Conn) net.Conn { // as it would come to another process
 		file, err := c.(interface{ File() (*os.File, error) }).File()
 		if err != nil {
@@ -40,9 +40,9 @@
 		return c
 	}
 	s.FromCaller, s.FromHop = append([]byte{}, s.FromCaller...), append([]byte{}, s.FromHop...)
-	s.Hold = exchange.NewHold()
+	s.Hold = proxy.NewHold()
 	h.s = s
-	x := exchange.Inherit(s, line.Front{}, h.watcher, copied(caller), copied(hop))
+	x := proxy.Inherit(s, lineproto.Front{}, h.watcher, copied(caller), copied(hop))
 	go func() { defer close(h.finished); x.Run() }()
 	close(h.asked)
 	takes := <-h.takes
--- a/internal/exchange/relay.go
+++ b/internal/proxy/relay.go
@@ -1,4 +1,4 @@
-package exchange
+package proxy
 
 // How lines pass after UP, both ways, until either side ends.
 
@@ -9,7 +9,7 @@
 	"os"
 	"time"
 
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 const (
@@ -29,7 +29,7 @@
 
 // forward passes the caller's lines on until either side ends. It tells whether
 // it was the caller.
-func (t *Transaction) forward(hop *leg.Leg) bool {
+func (t *Transaction) forward(hop *bufconn.Leg) bool {
 	for {
 		line, err := t.caller.ReadRaw()
 		if err != nil {
@@ -51,7 +51,7 @@
 }
 
 // sent notes that a line of the caller's waits for the next hop's answer.
-func (t *Transaction) sent(hop *leg.Leg) {
+func (t *Transaction) sent(hop *bufconn.Leg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
@@ -63,7 +63,7 @@
 }
 
 // heard notes that the next hop has answered.
-func (t *Transaction) heard(hop *leg.Leg) {
+func (t *Transaction) heard(hop *bufconn.Leg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.pending.IsZero() && !t.moving && !t.gone && t.heir == nil {
@@ -118,7 +118,7 @@
 
 // lookAgain is asked when a read from the next hop has failed. It is true, once, if
 // that was because a line has waited for its answer too long.
-func (t *Transaction) lookAgain(hop *leg.Leg, err error) bool {
+func (t *Transaction) lookAgain(hop *bufconn.Leg, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked || t.heir != nil {
@@ -130,7 +130,7 @@
 }
 
 // finish ends both sides after the next hop's leg could not be read further.
-func (t *Transaction) finish(hop *leg.Leg, how End, err error) End {
+func (t *Transaction) finish(hop *bufconn.Leg, how End, err error) End {
 	t.mu.Lock()
 	moving, gone, yields := t.moving, t.gone, t.heir != nil
 	t.mu.Unlock()
@@ -160,7 +160,7 @@
 
 // leaveHop moves the caller, and lets the next hop know that nothing more comes. Run reads
 // what that one has still on its way.
-func (t *Transaction) leaveHop(hop *leg.Leg, how End) End {
+func (t *Transaction) leaveHop(hop *bufconn.Leg, how End) End {
 	_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
 	t.caller.FinishWrites()
 	hop.FinishWrites()
@@ -168,7 +168,7 @@
 }
 
 // cut ends the next hop's side at once.
-func (t *Transaction) cut(hop *leg.Leg, how End) End {
+func (t *Transaction) cut(hop *bufconn.Leg, how End) End {
 	_ = hop.Close()
 	return how
 }
--- a/internal/exchange/run.go
+++ b/internal/proxy/run.go
@@ -1,4 +1,4 @@
-package exchange
+package proxy
 
 // How a caller leg is served to its end, and what its reader does.
 
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 const (
@@ -24,7 +24,7 @@
 		defer close(done)
 		t.readCaller()
 	}()
-	var hop *leg.Leg // after UP
+	var hop *bufconn.Leg // after UP
 	a, answered := <-t.final
 	switch {
 	case !answered: // the caller has left
@@ -124,7 +124,7 @@
 // not hide that their caller leaves, so it looks for more behind them, until Up
 // wakes it.
 func (t *Transaction) await() error {
-	for t.caller.R.Buffered() < leg.Size {
+	for t.caller.R.Buffered() < bufconn.Size {
 		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
 		if t.ctx.Err() != nil {
 			return nil
--- a/internal/exchange/stall_test.go
+++ b/internal/proxy/stall_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 // A side that does not read, or takes nothing.
 
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"coralrelay/internal/leg"
+	"coralrelay/internal/bufconn"
 )
 
 // Lines pass byte for byte, and a reader that is slow holds up its next hop
@@ -17,12 +17,12 @@
 func TestSlowReader(t *testing.T) {
 	b := start(t)
 	b.up(t)
-	line := make([]byte, leg.Size)
+	line := make([]byte, bufconn.Size)
 	for i := range line {
 		line[i] = byte(' ' + i%90)
 	}
 	copy(line[len(line)-2:], "\r\n")
-	const most = 64 << 20 / leg.Size // far more than the sockets' buffers hold
+	const most = 64 << 20 / bufconn.Size // far more than the sockets' buffers hold
 	written := 0
 	b.hop.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
 	for ; written < most; written++ {
--- a/internal/exchange/yield_test.go
+++ b/internal/proxy/yield_test.go
@@ -1,4 +1,4 @@
-package exchange_test
+package proxy_test
 
 // What comes between the yield and the offer.
 
--- a/internal/rules/list_clock_test.go
+++ b/internal/refmodel/list_clock_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 const toldAfter, wait = 6 * time.Second, 1100 * ms
 
 // inBubble runs f beside a discovery, and ends all that it has started.
-func inBubble(t *testing.T, d func() *discovery, f func(ctx context.Context, d *discovery)) {
+func inBubble(t *testing.T, d func() *fakeDiscovery, f func(ctx context.Context, d *fakeDiscovery)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		d := d()
@@ -43,7 +43,7 @@
 						}
 						return m
 					}
-					inBubble(t, func() *discovery { return newDiscovery(bad) }, func(ctx context.Context, d *discovery) {
+					inBubble(t, func() *fakeDiscovery { return newDiscovery(bad) }, func(ctx context.Context, d *fakeDiscovery) {
 						f := d.follow(ctx, t, "n", seed, asked(n))
 						time.Sleep(20 * time.Second)
 						last := d.hush()
@@ -86,7 +86,7 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			moods, times := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
-			begin := func() *discovery {
+			begin := func() *fakeDiscovery {
 				d := newDiscovery(func(call int) manner {
 					if call > 0 && moods.Float64() < 0.1 {
 						return turns
@@ -96,7 +96,7 @@
 				d.takes = func() time.Duration { return 4*ms + upTo(times, 6*ms) }
 				return d
 			}
-			inBubble(t, begin, func(ctx context.Context, d *discovery) {
+			inBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 				var all []*follower
 				for i := range nodes {
 					all = append(all, d.follow(ctx, t, fmt.Sprint("n", i), seed*nodes+uint64(i), asked(nodes)))
@@ -126,12 +126,12 @@
 func TestLateWords(t *testing.T) {
 	for seed := range uint64(8) {
 		rng := rand.New(rand.NewPCG(seed, 5))
-		begin := func() *discovery {
+		begin := func() *fakeDiscovery {
 			d := newDiscovery(func(int) manner { return lists })
 			d.beat = func() time.Duration { return 2*time.Second + upTo(rng, 490*ms) }
 			return d
 		}
-		inBubble(t, begin, func(ctx context.Context, d *discovery) {
+		inBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 			d.follow(ctx, t, "n", seed, asked(1))
 			time.Sleep(5 * time.Minute)
 			if calls := d.since("n", time.Time{}); len(calls) != 1 {
@@ -146,7 +146,7 @@
 func TestOtherDiscovery(t *testing.T) {
 	for name, m := range map[string]manner{"unanswered": hangs, "503": turns, "refused": refuses} {
 		for seed := range uint64(30) {
-			begin := func() *discovery {
+			begin := func() *fakeDiscovery {
 				return newDiscovery(func(call int) manner {
 					if call == 1 {
 						return m
@@ -154,7 +154,7 @@
 					return lists
 				})
 			}
-			inBubble(t, begin, func(ctx context.Context, d *discovery) {
+			inBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 				f := d.follow(ctx, t, "n", seed, asked(300))
 				time.Sleep(20 * time.Second)
 				hup := time.Now()
@@ -180,7 +180,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	inBubble(t, func() *discovery { return newDiscovery(func(int) manner { return lists }) }, func(ctx context.Context, d *discovery) {
+	inBubble(t, func() *fakeDiscovery { return newDiscovery(func(int) manner { return lists }) }, func(ctx context.Context, d *fakeDiscovery) {
 		d.takes = func() time.Duration { return 0 }
 		born := time.Now()
 		f := d.follow(ctx, t, "n", 1, settings.Watched(set))
--- a/internal/rules/list_crowd_test.go
+++ b/internal/refmodel/list_crowd_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"context"
@@ -40,7 +40,7 @@
 		for seed := range uint64(1) {
 			t.Run(fmt.Sprintf("%s, slow %v, free %v, seed %d", tt.what, tt.slow, tt.free, seed), func(t *testing.T) {
 				moods, times := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
-				begin := func() *discovery {
+				begin := func() *fakeDiscovery {
 					falls := time.Now().Add(lead)
 					moment := falls
 					switch {
@@ -75,7 +75,7 @@
 					}
 					return d
 				}
-				inBubble(t, begin, func(ctx context.Context, d *discovery) {
+				inBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 					var all []*follower
 					for i := range nodes {
 						all = append(all, d.follow(ctx, t, fmt.Sprint("n", i), seed*nodes+uint64(i), asked(nodes)))
--- a/internal/rules/list_discovery_test.go
+++ b/internal/refmodel/list_discovery_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"bufio"
@@ -13,8 +13,8 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
 )
 
 // manner is how discovery takes a call.
@@ -31,7 +31,7 @@
 )
 
 // discovery takes one call at a time, and drops those that have waited for its patience.
-type discovery struct {
+type fakeDiscovery struct {
 	manner   func(call int) manner // of a node's calls, from 0; asked one at a time
 	takes    func() time.Duration  // one call
 	beat     func() time.Duration  // until the next word of a watch
@@ -55,12 +55,12 @@
 	gone chan struct{} // closed once its caller has gone
 }
 
-func newDiscovery(m func(call int) manner) *discovery {
-	return &discovery{manner: m, takes: func() time.Duration { return 4 * ms }, beat: func() time.Duration { return 2 * time.Second }, patience: time.Second,
+func newDiscovery(m func(call int) manner) *fakeDiscovery {
+	return &fakeDiscovery{manner: m, takes: func() time.Duration { return 4 * ms }, beat: func() time.Duration { return 2 * time.Second }, patience: time.Second,
 		queue: make(chan visit, 4096), calls: map[string][]time.Time{}, request: map[string]string{}, quiet: make(chan struct{})}
 }
 
-func (d *discovery) run(ctx context.Context) {
+func (d *fakeDiscovery) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -93,7 +93,7 @@
 }
 
 // watch tells the list, then a word each beat until all watches fall silent or end.
-func (d *discovery) watch(ctx context.Context, v visit) {
+func (d *fakeDiscovery) watch(ctx context.Context, v visit) {
 	d.mu.Lock()
 	quiet := d.quiet
 	d.mu.Unlock()
@@ -124,7 +124,7 @@
 }
 
 // hush has all watches fall silent at one moment, behind a last word.
-func (d *discovery) hush() (last time.Time) {
+func (d *fakeDiscovery) hush() (last time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	close(d.quiet)
@@ -133,7 +133,7 @@
 }
 
 // dial is a node's way to discovery.
-func (d *discovery) dial(node string) func(context.Context, string, time.Time) (net.Conn, error) {
+func (d *fakeDiscovery) dial(node string) func(context.Context, string, time.Time) (net.Conn, error) {
 	return func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 		d.mu.Lock()
 		call := len(d.calls[node])
@@ -169,15 +169,15 @@
 
 // follower is what of a node follows the list.
 type follower struct {
-	core  *decide.Core
-	watch *roster.Watch
+	core  *dispatch.Core
+	watch *discovery.Watch
 
 	mu   sync.Mutex
-	told []roster.Update
+	told []discovery.Update
 	at   []time.Time
 }
 
-func (f *follower) Listed(u roster.Update) {
+func (f *follower) Listed(u discovery.Update) {
 	f.mu.Lock()
 	f.told, f.at = append(f.told, u), append(f.at, time.Now())
 	f.mu.Unlock()
@@ -199,17 +199,17 @@
 }
 
 // follow starts a follower that ends with ctx.
-func (d *discovery) follow(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
+func (d *fakeDiscovery) follow(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
 	f := &follower{}
-	f.watch = roster.New("discovery:1", f)
+	f.watch = discovery.New("discovery:1", f)
 	f.watch.Dial = d.dial(node)
-	core, err := decide.New(decide.NewClock(), seed, set, f, f.watch)
+	core, err := dispatch.New(dispatch.NewClock(), seed, set, f, f.watch)
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.core = core
 	d.parts.Go(func() { core.Run(ctx) })
-	d.parts.Go(func() { f.watch.Run(ctx, roster.Update{}) })
+	d.parts.Go(func() { f.watch.Run(ctx, discovery.Update{}) })
 	return f
 }
 
@@ -220,7 +220,7 @@
 }
 
 // since is when a node's calls left, from a time on.
-func (d *discovery) since(node string, from time.Time) (calls []time.Duration) {
+func (d *fakeDiscovery) since(node string, from time.Time) (calls []time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, at := range d.calls[node] {
--- a/internal/rules/list_return_test.go
+++ b/internal/refmodel/list_return_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 
 // falls returns a discovery that a node finds as down says from a time of its life on, and
 // for a length. Then it takes the first call as first says.
-func falls(down, first manner, from, length time.Duration) func() *discovery {
-	return func() *discovery {
+func falls(down, first manner, from, length time.Duration) func() *fakeDiscovery {
+	return func() *fakeDiscovery {
 		begun, back := time.Now().Add(from), time.Now().Add(from+length)
 		d := newDiscovery(func(int) manner {
 			switch now := time.Now(); {
@@ -30,8 +30,8 @@
 }
 
 // taken is a discovery that takes one call of a node as m says, and the others well.
-func taken(which int, m manner) func() *discovery {
-	return func() *discovery {
+func taken(which int, m manner) func() *fakeDiscovery {
+	return func() *fakeDiscovery {
 		return newDiscovery(func(call int) manner {
 			if call == which {
 				return m
@@ -55,7 +55,7 @@
 					latest, calls := time.Duration(0), 0
 					for seed := range uint64(4) {
 						length := 8*time.Second + time.Duration(seed)*310*ms
-						inBubble(t, falls(down, down, 20*time.Second, length), func(ctx context.Context, d *discovery) {
+						inBubble(t, falls(down, down, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
 							set := asked(n)
 							set.AskWithin = within
 							f := d.follow(ctx, t, "n", seed, set)
@@ -85,7 +85,7 @@
 	for _, n := range []int{1, 300} {
 		for seed := range uint64(8) {
 			for _, m := range []manner{stalls, drips} {
-				inBubble(t, taken(1, m), func(ctx context.Context, d *discovery) {
+				inBubble(t, taken(1, m), func(ctx context.Context, d *fakeDiscovery) {
 					f := d.follow(ctx, t, "n", seed, asked(n))
 					time.Sleep(20 * time.Second)
 					last := d.hush()
@@ -96,7 +96,7 @@
 					}
 				})
 			}
-			inBubble(t, falls(refuses, stalls, 20*time.Second, 8*time.Second), func(ctx context.Context, d *discovery) {
+			inBubble(t, falls(refuses, stalls, 20*time.Second, 8*time.Second), func(ctx context.Context, d *fakeDiscovery) {
 				f := d.follow(ctx, t, "n", seed, asked(n))
 				time.Sleep(20 * time.Second)
 				back := d.hush().Add(8 * time.Second)
@@ -116,7 +116,7 @@
 		latest := time.Duration(0)
 		for seed := range uint64(8) {
 			length := 12*time.Second + time.Duration(seed)*190*ms
-			inBubble(t, falls(refuses, m, 20*time.Second, length), func(ctx context.Context, d *discovery) {
+			inBubble(t, falls(refuses, m, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
 				f := d.follow(ctx, t, "n", seed, asked(300))
 				time.Sleep(20 * time.Second)
 				d.hush()
@@ -142,7 +142,7 @@
 		for _, ends := range []bool{false, true} {
 			for _, after := range []time.Duration{0, 300 * ms, 990 * ms, 1990 * ms} {
 				for seed := range uint64(4) {
-					inBubble(t, taken(1, turns), func(ctx context.Context, d *discovery) {
+					inBubble(t, taken(1, turns), func(ctx context.Context, d *fakeDiscovery) {
 						d.ends = ends
 						f := d.follow(ctx, t, "n", seed, asked(n))
 						for f.whole(time.Time{}).IsZero() {
@@ -168,7 +168,7 @@
 		for name, m := range map[string]manner{"listed": lists, "refused": refuses, "503": turns, "unanswered": hangs, "cut": cut, "stalled": stalls} {
 			var took []time.Duration
 			for seed := range uint64(6) {
-				inBubble(t, taken(0, m), func(ctx context.Context, d *discovery) {
+				inBubble(t, taken(0, m), func(ctx context.Context, d *fakeDiscovery) {
 					born := time.Now()
 					f := d.follow(ctx, t, "n", seed, asked(n))
 					time.Sleep(20 * time.Second)
--- a/internal/rules/requests.go
+++ b/internal/refmodel/requests.go
@@ -1,4 +1,4 @@
-package rules
+package refmodel
 
 // What requests are owed, and where they may be sent: rules 1, 2 and 5.
 
--- a/internal/rules/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"bufio"
@@ -12,10 +12,10 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/caller"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/upstream"
 )
 
 // answerAfter is how long next hops take to answer a line; what hangs answers none.
@@ -107,7 +107,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				r := &restarted{talk: newTalk()}
 				door := listener{make(chan net.Conn), make(chan struct{})}
-				hops := nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+				hops := upstream.New(ctx, upstream.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
 				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 					near, far := net.Pipe()
 					r.parts.Go(func() { r.hop(addr, far) })
@@ -115,16 +115,16 @@
 				}
 				set := asked(1)
 				set.Reports.ByProbe, set.Limits.Probes = true, true
-				core, err := decide.New(decide.NewClock(), 1, set, hops, noRoster{})
+				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noRoster{})
 				if err != nil {
 					t.Fatal(err)
 				}
 				hops.Watch(core)
-				server := caller.New(core, hops, caller.Limits{Sockets: 1000})
+				server := downstream.New(core, hops, downstream.Limits{Sockets: 1000})
 				r.parts.Go(func() { core.Run(ctx) })
-				u := roster.Update{Kind: balance.ListFull}
+				u := discovery.Update{Kind: balance.ListFull}
 				for how := range answerAfter {
-					u.Entries = append(u.Entries, roster.Entry{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
+					u.Entries = append(u.Entries, discovery.Entry{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
 				}
 				hops.Update(true, u.Entries, time.Now())
 				core.Listed(u.List())
@@ -139,7 +139,7 @@
 					time.Sleep(10 * ms)
 				}
 				begun := time.Now() // as SIGTERM does it
-				server.Drain(caller.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + 200*ms), End: begun.Add(longest + 400*ms)})
+				server.Drain(downstream.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + 200*ms), End: begun.Add(longest + 400*ms)})
 				if took := time.Since(begun); took > longest+400*ms || server.Open() > 0 {
 					t.Errorf("it took %v, %d connections are left", took, server.Open())
 				}
--- a/internal/rules/restart_talk_test.go
+++ b/internal/refmodel/restart_talk_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"fmt"
--- a/internal/rules/rules.go
+++ b/internal/refmodel/rules.go
@@ -13,7 +13,7 @@
 //     processes in sum; beyond that only what comes by chance.
 //  5. What is given up is answered at once: a request that nobody may be sent is not
 //     kept waiting.
-package rules
+package refmodel
 
 import (
 	"fmt"
--- a/internal/rules/rules_test.go
+++ b/internal/refmodel/rules_test.go
@@ -1,4 +1,4 @@
-package rules
+package refmodel
 
 import (
 	"fmt"
--- a/internal/rules/scene_client_test.go
+++ b/internal/refmodel/scene_client_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 // The clients of a scene.
 
@@ -10,7 +10,7 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/rules"
+	"coralrelay/internal/refmodel"
 )
 
 // classes are of every kind of effect. What may be repeated may be so for a short while,
@@ -24,8 +24,8 @@
 }
 
 // repeats is what the book has to know of a class.
-func (s *scene) repeats(c balance.Class) rules.Repeats {
-	r := rules.Repeats{Never: c.Effect == balance.Unsafe}
+func (s *scene) repeats(c balance.Class) refmodel.Repeats {
+	r := refmodel.Repeats{Never: c.Effect == balance.Unsafe}
 	if c.Effect != balance.Keyed {
 		return r
 	}
@@ -52,14 +52,14 @@
 	wait := 200*ms + s.upTo(800*ms)
 	near, far := net.Pipe()
 	defer far.Close()
-	s.note(func(b *rules.Book, now time.Duration) { b.Asked(now, id, now+wait, s.repeats(class)) })
+	s.note(func(b *refmodel.Book, now time.Duration) { b.Asked(now, id, now+wait, s.repeats(class)) })
 	s.front <- &handle{Conn: near}
 	if _, err := fmt.Fprintf(far, "OPEN %s k c=%s,d=%d\r\n", id, class.Name, wait.Milliseconds()); err != nil {
 		s.t.Errorf("%s: %v", id, err)
 	}
 	if leaves {
 		gone := time.AfterFunc(s.upTo(100*ms), func() {
-			s.note(func(b *rules.Book, now time.Duration) { b.Left(now, id) })
+			s.note(func(b *refmodel.Book, now time.Duration) { b.Left(now, id) })
 			far.Close()
 		})
 		defer gone.Stop()
@@ -85,12 +85,12 @@
 			s.mu.Lock()
 			s.up[id] = time.Now()
 			s.mu.Unlock()
-			s.answered(id, class.Name, "served", rules.Served)
+			s.answered(id, class.Name, "served", refmodel.Served)
 			s.say(far)
 		case word == "BUSY":
-			s.answered(id, class.Name, "refused", rules.Refused)
+			s.answered(id, class.Name, "refused", refmodel.Refused)
 		default:
-			s.answered(id, class.Name, "failed", rules.Failed)
+			s.answered(id, class.Name, "failed", refmodel.Failed)
 		}
 	}
 }
@@ -104,8 +104,8 @@
 	})
 }
 
-func (s *scene) answered(id, class, how string, a rules.Answer) {
-	s.note(func(b *rules.Book, now time.Duration) {
+func (s *scene) answered(id, class, how string, a refmodel.Answer) {
+	s.note(func(b *refmodel.Book, now time.Duration) {
 		b.Answered(now, id, a)
 		s.over[how]++
 		s.byClass[class+how]++
--- a/internal/rules/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 // A scene's discovery, which is really asked: watches fall silent and calls fail, and
 // what it has counts as told in the end, whether or not it came.
@@ -13,8 +13,8 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/roster"
-	"coralrelay/internal/rules"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/refmodel"
 )
 
 // board is discovery. Its fields are under the scene's lock.
@@ -39,7 +39,7 @@
 }
 
 // instances words entries as discovery has them.
-func instances(entries ...roster.Entry) string {
+func instances(entries ...discovery.Entry) string {
 	var list []string
 	for _, e := range entries {
 		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,"lifecycle":%q,"startedAtMs":%d}`,
@@ -49,7 +49,7 @@
 }
 
 // changed has the watches told of changes.
-func (d *board) changed(entries ...roster.Entry) {
+func (d *board) changed(entries ...discovery.Entry) {
 	d.s.mu.Lock()
 	defer d.s.mu.Unlock()
 	for _, w := range d.watches {
@@ -86,7 +86,7 @@
 		}
 		return
 	}
-	var all []roster.Entry
+	var all []discovery.Entry
 	for _, f := range d.s.feeds {
 		all = append(all, f.entry)
 	}
@@ -124,11 +124,11 @@
 	n *node
 }
 
-func (k sink) Listed(u roster.Update) {
+func (k sink) Listed(u discovery.Update) {
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
-		k.s.note(func(b *rules.Book, now time.Duration) {
+		k.s.note(func(b *refmodel.Book, now time.Duration) {
 			for _, e := range u.Entries {
-				b.Told(now, e.ID, rules.State(e.State), 0)
+				b.Told(now, e.ID, refmodel.State(e.State), 0)
 			}
 		})
 		k.n.hops.Update(u.Kind == balance.ListFull, u.Entries, time.Now())
--- a/internal/rules/scene_feed_test.go
+++ b/internal/refmodel/scene_feed_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 // The feed servers of a scene.
 
@@ -11,15 +11,15 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/roster"
-	"coralrelay/internal/rules"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/refmodel"
 )
 
 // feed is a feed server as the scene has it.
 type feed struct {
 	id    string
 	conns map[net.Conn]bool // that stand
-	entry roster.Entry
+	entry discovery.Entry
 }
 
 // attempt is the node's end of a connection to a feed server. An attempt is out until
@@ -32,8 +32,8 @@
 }
 
 // over notes the attempt's end, once.
-func (a *attempt) over(how rules.End) {
-	a.s.note(func(b *rules.Book, now time.Duration) {
+func (a *attempt) over(how refmodel.End) {
+	a.s.note(func(b *refmodel.Book, now time.Duration) {
 		if a.id != "" && !a.done {
 			a.done = true
 			b.Ended(now, a.id, how)
@@ -42,7 +42,7 @@
 }
 
 func (a *attempt) Close() error {
-	a.over(rules.NoReply)
+	a.over(refmodel.NoReply)
 	return a.Conn.Close()
 }
 
@@ -92,7 +92,7 @@
 			}
 		case "OPEN":
 			id, _, _ := strings.Cut(rest, " ")
-			s.note(func(b *rules.Book, now time.Duration) {
+			s.note(func(b *refmodel.Book, now time.Duration) {
 				a.id = id
 				s.sent++
 				b.Sent(now, id, server)
@@ -131,15 +131,15 @@
 	switch {
 	case s.kind.full(): // all that it is sent, which is the point
 	case s.chance(0.12):
-		a.over(rules.NotRun)
+		a.over(refmodel.NotRun)
 		fmt.Fprintf(conn, "BUSY\r\n")
 		return false
 	case s.chance(0.06), s.kind == late && s.chance(0.2):
-		a.over(rules.MayRun)
+		a.over(refmodel.MayRun)
 		fmt.Fprintf(conn, "ERR\r\n")
 		return false
 	case s.chance(0.05):
-		a.over(rules.NoReply)
+		a.over(refmodel.NoReply)
 		return false
 	case s.chance(0.05): // hangs until the node has enough of it
 		_, _ = conn.Read(make([]byte, 1))
--- a/internal/rules/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 // What the nodes of a scene are told: changes of servers and settings, drains.
 
@@ -9,22 +9,22 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/caller"
-	"coralrelay/internal/roster"
-	"coralrelay/internal/rules"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/refmodel"
 )
 
-func (s *scene) tell(kind balance.ListKind, entries ...roster.Entry) {
-	s.note(func(b *rules.Book, now time.Duration) {
+func (s *scene) tell(kind balance.ListKind, entries ...discovery.Entry) {
+	s.note(func(b *refmodel.Book, now time.Duration) {
 		for _, e := range entries {
 			started := e.Started
 			if started > 0 { // on the book's clock
 				started -= time.Duration(s.begun.UnixNano())
 			}
 			if s.kind == silent {
-				b.Changed(now, e.ID, rules.State(e.State), started)
+				b.Changed(now, e.ID, refmodel.State(e.State), started)
 			} else {
-				b.Told(now, e.ID, rules.State(e.State), started)
+				b.Told(now, e.ID, refmodel.State(e.State), started)
 			}
 		}
 	})
@@ -48,7 +48,7 @@
 	}
 	defer s.operators.Unlock()
 	now := time.Now()
-	s.node.server.LameDuck(caller.Plan{Refuse: now.Add(600 * ms), From: now.Add(300 * ms), Until: now.Add(1500 * ms), End: now.Add(time.Hour)})
+	s.node.server.LameDuck(downstream.Plan{Refuse: now.Add(600 * ms), From: now.Add(300 * ms), Until: now.Add(1500 * ms), End: now.Add(time.Hour)})
 	if s.node.server.TakesClients() {
 		s.t.Error("it takes clients while it is emptied")
 	}
@@ -57,7 +57,7 @@
 		s.node.server.Rejoin()
 		s.node.server.Rejoin()
 	} else {
-		s.node.server.LameDuck(caller.Plan{}) // changes nothing
+		s.node.server.LameDuck(downstream.Plan{}) // changes nothing
 		time.Sleep(2 * time.Second)
 		s.mu.Lock()
 		for id, since := range s.up {
@@ -81,7 +81,7 @@
 	s.mu.Unlock()
 	s.node.core.Retune(set)
 	synctest.Wait() // it is in force
-	s.note(func(b *rules.Book, now time.Duration) { b.Retuned(now, set.Limits.MaxAttempts) })
+	s.note(func(b *refmodel.Book, now time.Duration) { b.Retuned(now, set.Limits.MaxAttempts) })
 }
 
 // trouble changes one server's state: it drains, goes, comes back as it was or as a
@@ -102,7 +102,7 @@
 // drain has a server drain that is ready, if one is.
 func (s *scene) drain() {
 	s.mu.Lock()
-	var told []roster.Entry
+	var told []discovery.Entry
 	for i := range len(s.feeds) {
 		if f := s.feeds[fmt.Sprint("s", i)]; f.entry.State == balance.Ready && len(told) == 0 {
 			f.entry.State = balance.Draining
--- a/internal/rules/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 // The processes of a scene, and how one takes over from another.
 
@@ -12,46 +12,46 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/caller"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/nexthop"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/downstream"
+	"coralrelay/internal/proxy"
+	"coralrelay/internal/upstream"
 )
 
 // node is one process.
 type node struct {
-	core   *decide.Core
-	hops   *nexthop.Hops
-	server *caller.Server
+	core   *dispatch.Core
+	hops   *upstream.Hops
+	server *downstream.Server
 	door   listener
 	cancel context.CancelFunc
 	parts  sync.WaitGroup
 }
 
 // start starts a process, which is told what the last one was.
-func (s *scene) start(list ...roster.Entry) *node {
+func (s *scene) start(list ...discovery.Entry) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
-	n.hops = nexthop.New(ctx, nexthop.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+	n.hops = upstream.New(ctx, upstream.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
 	n.hops.Dial = s.dial
-	var lists decide.Roster = noRoster{}
-	watch := roster.New("discovery:1", sink{s, n})
+	var lists dispatch.Roster = noRoster{}
+	watch := discovery.New("discovery:1", sink{s, n})
 	watch.Dial = s.board.dial
 	if s.kind == silent {
 		lists = watch
 	}
-	core, err := decide.New(decide.NewClock(), uint64(s.upTo(time.Hour)), s.set, n.hops, lists)
+	core, err := dispatch.New(dispatch.NewClock(), uint64(s.upTo(time.Hour)), s.set, n.hops, lists)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	n.core = core
 	n.hops.Watch(core)
-	n.server = caller.New(core, n.hops, caller.Limits{Sockets: 1000})
+	n.server = downstream.New(core, n.hops, downstream.Limits{Sockets: 1000})
 	n.server.Figures = s.count
 	n.parts.Go(func() { core.Run(ctx) })
 	if s.kind == silent {
-		n.parts.Go(func() { watch.Run(ctx, roster.Update{}) })
+		n.parts.Go(func() { watch.Run(ctx, discovery.Update{}) })
 	} else {
 		n.tell(balance.ListFull, list)
 	}
@@ -62,20 +62,20 @@
 	return n
 }
 
-func (n *node) tell(kind balance.ListKind, entries []roster.Entry) {
-	u := roster.Update{Kind: kind, Entries: entries}
+func (n *node) tell(kind balance.ListKind, entries []discovery.Entry) {
+	u := discovery.Update{Kind: kind, Entries: entries}
 	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
 	n.core.Listed(u.List())
 }
 
 // end lets a process end: at once, or as one that is replaced.
-func (s *scene) end(n *node, heir exchange.Heir) {
+func (s *scene) end(n *node, heir proxy.Heir) {
 	if heir == nil {
 		_ = n.door.Close()
 	} else {
 		now := time.Now()
 		end := now.Add(1400 * ms)
-		n.server.Drain(caller.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
+		n.server.Drain(downstream.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
 		if took := time.Since(now); took > 1400*ms {
 			s.t.Errorf("it took %v to leave", took)
 		}
@@ -94,7 +94,7 @@
 // replace has a successor take over from the node, which takes its time to end.
 func (s *scene) replace() {
 	s.mu.Lock()
-	var list []roster.Entry
+	var list []discovery.Entry
 	for _, f := range s.feeds {
 		list = append(list, f.entry)
 	}
@@ -124,10 +124,10 @@
 // heir is the successor, as its socket would have it. Now and then it takes nothing.
 type heir struct {
 	s  *scene
-	to *caller.Server
+	to *downstream.Server
 }
 
-func (h heir) Take(st exchange.Standing, c, hop net.Conn) bool {
+func (h heir) Take(st proxy.Standing, c, hop net.Conn) bool {
 	if h.s.chance(0.1) {
 		return false
 	}
--- a/internal/rules/scene_test.go
+++ b/internal/refmodel/scene_test.go
@@ -1,4 +1,4 @@
-package rules_test
+package refmodel_test
 
 import (
 	"fmt"
@@ -12,9 +12,9 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/figures"
-	"coralrelay/internal/roster"
-	"coralrelay/internal/rules"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/metrics"
+	"coralrelay/internal/refmodel"
 )
 
 const ms = time.Millisecond
@@ -45,7 +45,7 @@
 	nodes []*node              // that are told of servers
 	up    map[string]time.Time // since when connections stand, by request
 	rng   *rand.Rand
-	book  *rules.Book
+	book  *refmodel.Book
 	feeds map[string]*feed
 	ids   int
 	over  map[string]int // how requests were answered
@@ -53,7 +53,7 @@
 	byClass map[string]int // the same, of each class
 	board   board          // discovery, where it is asked
 	sent    int            // attempts that feed servers have read whole
-	count   *figures.Book  // the node's own
+	count   *metrics.Book  // the node's own
 
 	kind kind
 	room float64
@@ -90,7 +90,7 @@
 	return time.Duration(s.rng.Int64N(int64(d)/int64(ms)+1)) * ms // whole ones: much comes at one time
 }
 
-func (s *scene) note(f func(b *rules.Book, now time.Duration)) {
+func (s *scene) note(f func(b *refmodel.Book, now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f(s.book, time.Since(s.begun))
@@ -118,19 +118,19 @@
 	s := &scene{t: t, begun: time.Now(), set: set, up: map[string]time.Time{}, front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
 		feeds: map[string]*feed{}, over: map[string]int{}, byClass: map[string]int{},
 		kind: k, room: fill,
-		book: rules.NewBook(rules.Terms{Attempts: 4, Drain: 300 * ms, Told: 6 * time.Second, Prompt: prompt, Tick: set.Tick, Ramp: 20 * time.Second,
+		book: refmodel.NewBook(refmodel.Terms{Attempts: 4, Drain: 300 * ms, Told: 6 * time.Second, Prompt: prompt, Tick: set.Tick, Ramp: 20 * time.Second,
 			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
 	s.board = board{s: s, watches: map[net.Conn]chan string{}}
-	s.count = &figures.Book{}
+	s.count = &metrics.Book{}
 	for _, c := range classes {
 		c.Aim, c.Deadline = 300*ms, time.Second
 		s.set.Classes = append(s.set.Classes, c)
 		s.count.Name(c.Name)
 	}
-	var list []roster.Entry
+	var list []discovery.Entry
 	for i := range feeds {
 		f := &feed{id: fmt.Sprint("s", i), conns: map[net.Conn]bool{}}
-		f.entry = roster.Entry{Addr: f.id, ServerEntry: balance.ServerEntry{ID: f.id, Zone: fmt.Sprint("z", i%2), Cell: i % 3}}
+		f.entry = discovery.Entry{Addr: f.id, ServerEntry: balance.ServerEntry{ID: f.id, Zone: fmt.Sprint("z", i%2), Cell: i % 3}}
 		s.feeds[f.id] = f
 		list = append(list, f.entry)
 	}
@@ -163,10 +163,10 @@
 		default:
 			s.trouble()
 		}
-		s.note((*rules.Book).Pass)
+		s.note((*refmodel.Book).Pass)
 	}
 	time.Sleep(3 * time.Second) // all that was asked is due by then
-	s.note((*rules.Book).Pass)
+	s.note((*refmodel.Book).Pass)
 	for _, id := range s.book.Owed() {
 		t.Errorf("%s was never answered", id)
 	}
@@ -209,7 +209,7 @@
 						}
 					}
 					want += fmt.Sprintf("balancer.relayed:%d|c\r\n", s.sent)
-					if got := s.count.Text(figures.Gauges{}); !strings.HasPrefix(got, want) {
+					if got := s.count.Text(metrics.Gauges{}); !strings.HasPrefix(got, want) {
 						t.Errorf("figures:\n%swant:\n%s", got, want)
 					}
 					if k == silent && s.board.lists < 6 {
--- a/internal/rules/servers.go
+++ b/internal/refmodel/servers.go
@@ -1,4 +1,4 @@
-package rules
+package refmodel
 
 // When does a change of a server count as told, and what may a cold one be sent? Rules 3
 // and 4.
--- a/internal/ledger/crash_test.go
+++ b/internal/replayguard/crash_test.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 const childDir = "CORALRELAY_LEDGER_CHILD"
@@ -36,7 +36,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "token"), []byte(text), 0o600); err != nil {
 		panic(err)
 	}
-	l.Spend(tok, resume.Claimant{1}, func(resume.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
+	l.Spend(tok, resumetoken.Claimant{1}, func(resumetoken.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
 	time.Sleep(patience)
 }
 
@@ -56,12 +56,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tok, err := resume.Open(ring(t, "a"), string(text))
+	tok, err := resumetoken.Open(ring(t, "a"), string(text))
 	if err != nil {
 		t.Fatal(err)
 	}
 	l, _ := start(t, Options{Dir: dir})
-	if v := judge(l, &tok, 2); v != resume.Spent || l.Kept() != 1 {
+	if v := judge(l, &tok, 2); v != resumetoken.Spent || l.Kept() != 1 {
 		t.Errorf("presented again: %v, %d kept", v, l.Kept())
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/replayguard/ledger.go
@@ -1,7 +1,7 @@
 // Package ledger keeps which resume tokens are spent, answers other nodes that
 // ask, and asks their ledgers. What is granted is decided by package resume; here
 // it is made durable before anyone hears of it.
-package ledger
+package replayguard
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/resume"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/store"
 	"coralrelay/internal/tally"
 )
@@ -62,7 +62,7 @@
 // keeper holds the records.
 type keeper interface {
 	// spend judges a presentation, keeps it if it is granted afresh, and tells.
-	spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict))
+	spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict))
 	sweep()
 	run(ctx context.Context)
 	close() error
@@ -70,7 +70,7 @@
 
 // Ledger is one node's ledger.
 type Ledger struct {
-	ID     resume.LedgerID
+	ID     resumetoken.LedgerID
 	Stays  bool // its records survive a restart
 	keeper keeper
 	kept   atomic.Int64
@@ -88,11 +88,11 @@
 		o.Now = time.Now
 	}
 	l := &Ledger{limit: int64(o.Records), now: o.Now}
-	a := resume.Arbiter{Limit: o.Records, Skew: o.Skew}
+	a := resumetoken.Arbiter{Limit: o.Records, Skew: o.Skew}
 	if o.Dir == "" {
 		_, _ = rand.Read(a.ID[:])
 		l.ID = a.ID
-		l.keeper = &memory{ledger: l, arbiter: a, spent: map[resume.Window]map[resume.Nonce]resume.Claimant{}}
+		l.keeper = &memory{ledger: l, arbiter: a, spent: map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.Claimant{}}
 		return l, nil
 	}
 	// A record takes about 100 bytes with bbolt's overhead for random keys. The rest
@@ -107,7 +107,7 @@
 		slog.Warn("ledger: a file that can't be trusted was set aside; tokens that name it won't be honoured",
 			"aside", s.Aside, "err", s.Why)
 	}
-	a.ID = resume.LedgerID(s.ID)
+	a.ID = resumetoken.LedgerID(s.ID)
 	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group, waiting)}
 	if err := d.load(); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), s.Close())
@@ -127,8 +127,8 @@
 // nothing keeps no records.
 type nothing struct{}
 
-func (nothing) spend(_ *resume.Token, _ resume.Claimant, tell func(resume.Verdict)) {
-	tell(resume.Broken)
+func (nothing) spend(_ *resumetoken.Token, _ resumetoken.Claimant, tell func(resumetoken.Verdict)) {
+	tell(resumetoken.Broken)
 }
 func (nothing) sweep()                  {}
 func (nothing) run(ctx context.Context) { <-ctx.Done() }
@@ -138,7 +138,7 @@
 func (l *Ledger) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { l.keeper.run(ctx) })
-	tick := time.NewTicker(resume.WindowLength / 2)
+	tick := time.NewTicker(resumetoken.WindowLength / 2)
 	defer tick.Stop()
 	for ctx.Err() == nil {
 		l.keeper.sweep()
@@ -155,7 +155,7 @@
 
 // Spend tells what becomes of one presentation. tell is called once, from another
 // goroutine, and must not block.
-func (l *Ledger) Spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+func (l *Ledger) Spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
 	l.keeper.spend(t, c, tell)
 }
 
@@ -173,17 +173,17 @@
 	ledger  *Ledger
 	store   *store.Store
 	writer  *store.Writer
-	arbiter resume.Arbiter
+	arbiter resumetoken.Arbiter
 	failed  tally.Tally
-	cheat   map[resume.Nonce]resume.Claimant // sabotage: records that are not written
+	cheat   map[resumetoken.Nonce]resumetoken.Claimant // sabotage: records that are not written
 }
 
 func (d *durable) load() error {
 	return d.store.View(func(tx *store.Tx) error {
 		if b := tx.Bucket(rulesBucket).Get(sweptKey); len(b) == 8 {
-			d.arbiter.Swept = resume.Window(binary.BigEndian.Uint64(b))
+			d.arbiter.Swept = resumetoken.Window(binary.BigEndian.Uint64(b))
 		}
-		err := EachWindow(tx, func(_ resume.Window, spent int) { d.arbiter.Kept += spent })
+		err := EachWindow(tx, func(_ resumetoken.Window, spent int) { d.arbiter.Kept += spent })
 		d.ledger.kept.Store(int64(d.arbiter.Kept))
 		return err
 	})
@@ -191,10 +191,10 @@
 
 // EachWindow tells, for each window of a ledger's store, how many of the tokens that
 // expire in it are spent.
-func EachWindow(tx *store.Tx, tell func(w resume.Window, spent int)) error {
+func EachWindow(tx *store.Tx, tell func(w resumetoken.Window, spent int)) error {
 	all := tx.Bucket(spentBucket)
 	return all.ForEachBucket(func(k []byte) error {
-		tell(resume.Window(binary.BigEndian.Uint64(k)), all.Bucket(k).Stats().KeyN)
+		tell(resumetoken.Window(binary.BigEndian.Uint64(k)), all.Bucket(k).Stats().KeyN)
 		return nil
 	})
 }
@@ -202,7 +202,7 @@
 func (d *durable) run(ctx context.Context) { d.writer.Run(ctx) }
 func (d *durable) close() error            { return d.store.Close() }
 
-func (d *durable) spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+func (d *durable) spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
 	d.writer.Submit(&presentation{d: d, token: t, claimant: c, tell: tell})
 }
 
@@ -213,23 +213,23 @@
 // presentation is one token to be judged and, if it is granted, kept.
 type presentation struct {
 	d        *durable
-	token    *resume.Token
-	claimant resume.Claimant
-	tell     func(resume.Verdict)
-	verdict  resume.Verdict
+	token    *resumetoken.Token
+	claimant resumetoken.Claimant
+	tell     func(resumetoken.Verdict)
+	verdict  resumetoken.Verdict
 	fresh    bool
 }
 
 func (p *presentation) Apply(tx *store.Tx) error {
 	spent := tx.Bucket(spentBucket)
 	p.verdict, p.fresh = p.d.arbiter.Judge(p.d.ledger.now(), p.token, p.claimant,
-		func(w resume.Window, n resume.Nonce) (c resume.Claimant, ok bool) {
+		func(w resumetoken.Window, n resumetoken.Nonce) (c resumetoken.Claimant, ok bool) {
 			if had, ok := p.d.cheat[n]; ok {
 				return had, true
 			}
 			if b := spent.Bucket(key(w)); b != nil {
 				if had := b.Get(n[:]); len(had) == len(c) {
-					return resume.Claimant(had), true
+					return resumetoken.Claimant(had), true
 				}
 			}
 			return c, false
@@ -238,14 +238,14 @@
 		return nil
 	}
 	p.d.arbiter.Kept++
-	if sabotage.On("ledger-volatile") {
+	if mutation.On("ledger-volatile") {
 		if p.d.cheat == nil {
-			p.d.cheat = map[resume.Nonce]resume.Claimant{}
+			p.d.cheat = map[resumetoken.Nonce]resumetoken.Claimant{}
 		}
 		p.d.cheat[p.token.Nonce] = p.claimant
 		return nil
 	}
-	b, err := spent.CreateBucketIfNotExists(key(resume.WindowOf(p.token.Expires)))
+	b, err := spent.CreateBucketIfNotExists(key(resumetoken.WindowOf(p.token.Expires)))
 	if err != nil {
 		return err
 	}
@@ -254,7 +254,7 @@
 
 func (p *presentation) Done(err error) {
 	if errors.Is(err, store.ErrBusy) { // told in Submit's goroutine: the arbiter is not ours to touch
-		p.tell(resume.Full)
+		p.tell(resumetoken.Full)
 		return
 	}
 	if err != nil {
@@ -262,7 +262,7 @@
 		if p.fresh {
 			p.d.arbiter.Kept--
 		}
-		p.verdict = resume.Broken
+		p.verdict = resumetoken.Broken
 	} else if p.fresh {
 		p.d.ledger.broken.Store(false)
 	}
@@ -290,7 +290,7 @@
 	spent := tx.Bucket(spentBucket)
 	var old [][]byte
 	_ = spent.ForEachBucket(func(k []byte) error {
-		if resume.Window(binary.BigEndian.Uint64(k)) <= w {
+		if resumetoken.Window(binary.BigEndian.Uint64(k)) <= w {
 			old = append(old, append([]byte(nil), k...))
 		}
 		return nil
@@ -325,7 +325,7 @@
 	}
 }
 
-func key(w resume.Window) []byte { return binary.BigEndian.AppendUint64(nil, uint64(w)) }
+func key(w resumetoken.Window) []byte { return binary.BigEndian.AppendUint64(nil, uint64(w)) }
 
 // ---- in memory ----
 
@@ -333,20 +333,20 @@
 	ledger *Ledger
 
 	mu      sync.Mutex
-	arbiter resume.Arbiter
-	spent   map[resume.Window]map[resume.Nonce]resume.Claimant
+	arbiter resumetoken.Arbiter
+	spent   map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.Claimant
 }
 
-func (m *memory) spend(t *resume.Token, c resume.Claimant, tell func(resume.Verdict)) {
+func (m *memory) spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
 	m.mu.Lock()
-	v, fresh := m.arbiter.Judge(m.ledger.now(), t, c, func(w resume.Window, n resume.Nonce) (resume.Claimant, bool) {
+	v, fresh := m.arbiter.Judge(m.ledger.now(), t, c, func(w resumetoken.Window, n resumetoken.Nonce) (resumetoken.Claimant, bool) {
 		had, ok := m.spent[w][n]
 		return had, ok
 	})
 	if fresh {
-		w := resume.WindowOf(t.Expires)
+		w := resumetoken.WindowOf(t.Expires)
 		if m.spent[w] == nil {
-			m.spent[w] = map[resume.Nonce]resume.Claimant{}
+			m.spent[w] = map[resumetoken.Nonce]resumetoken.Claimant{}
 		}
 		m.spent[w][t.Nonce] = c
 		m.arbiter.Kept++
--- a/internal/ledger/ledger_test.go
+++ b/internal/replayguard/ledger_test.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"bufio"
@@ -17,19 +17,19 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
-func ring(t testing.TB, secrets ...string) *resume.Ring {
-	var keys []*resume.Key
+func ring(t testing.TB, secrets ...string) *resumetoken.Ring {
+	var keys []*resumetoken.Key
 	for i, s := range secrets {
-		k, err := resume.NewKey(resume.KeyID(i+1), time.Unix(int64(i), 0), []byte(strings.Repeat(s, resume.SecretSize)))
+		k, err := resumetoken.NewKey(resumetoken.KeyID(i+1), time.Unix(int64(i), 0), []byte(strings.Repeat(s, resumetoken.SecretSize)))
 		if err != nil {
 			t.Fatal(err)
 		}
 		keys = append(keys, k)
 	}
-	r, err := resume.NewRing(keys...)
+	r, err := resumetoken.NewRing(keys...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,27 +55,27 @@
 var number atomic.Uint64
 
 // token returns a token that a ledger arbitrates.
-func token(t testing.TB, r *resume.Ring, l *Ledger, issued time.Time, life time.Duration) (string, *resume.Token) {
+func token(t testing.TB, r *resumetoken.Ring, l *Ledger, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
 	n := number.Add(1)
-	text, err := resume.Mint(r, issued, resume.Grant{Issuer: "n0", Arbiter: "n0", Ledger: l.ID, FlowKey: "k", Group: "g",
-		Pos: resume.Position{Epoch: 1, Offset: n}, Life: life, Nonce: resume.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
+	text, err := resumetoken.Mint(r, issued, resumetoken.Grant{Issuer: "n0", Arbiter: "n0", Ledger: l.ID, FlowKey: "k", Group: "g",
+		Pos: resumetoken.Position{Epoch: 1, Offset: n}, Life: life, Nonce: resumetoken.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	tok, err := resume.Open(r, text)
+	tok, err := resumetoken.Open(r, text)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return text, &tok
 }
 
-func judge(l *Ledger, tok *resume.Token, claimant byte) resume.Verdict {
-	return spendAs(l, tok, resume.Claimant{claimant})
+func judge(l *Ledger, tok *resumetoken.Token, claimant byte) resumetoken.Verdict {
+	return spendAs(l, tok, resumetoken.Claimant{claimant})
 }
 
-func spendAs(l *Ledger, tok *resume.Token, c resume.Claimant) resume.Verdict {
-	tell := make(chan resume.Verdict, 1)
-	l.Spend(tok, c, func(v resume.Verdict) { tell <- v })
+func spendAs(l *Ledger, tok *resumetoken.Token, c resumetoken.Claimant) resumetoken.Verdict {
+	tell := make(chan resumetoken.Verdict, 1)
+	l.Spend(tok, c, func(v resumetoken.Verdict) { tell <- v })
 	return <-tell
 }
 
@@ -86,12 +86,12 @@
 	l, stop := start(t, Options{Dir: dir})
 	_, tok := token(t, r, l, time.Now(), time.Minute)
 	_, unspent := token(t, r, l, time.Now(), time.Minute)
-	if v := judge(l, tok, 1); v != resume.Granted {
+	if v := judge(l, tok, 1); v != resumetoken.Granted {
 		t.Fatal(v)
 	}
 	stop()
 	l, stop = start(t, Options{Dir: dir})
-	for claimant, want := range map[byte]resume.Verdict{1: resume.Granted, 2: resume.Spent} {
+	for claimant, want := range map[byte]resumetoken.Verdict{1: resumetoken.Granted, 2: resumetoken.Spent} {
 		if v := judge(l, tok, claimant); v != want || l.Kept() != 1 {
 			t.Errorf("claimant %d: %v, want %v; %d kept", claimant, v, want, l.Kept())
 		}
@@ -101,8 +101,8 @@
 		t.Fatal(err)
 	}
 	l, _ = start(t, Options{Dir: dir})
-	for _, old := range []*resume.Token{tok, unspent} {
-		if v := judge(l, old, 3); v != resume.Foreign {
+	for _, old := range []*resumetoken.Token{tok, unspent} {
+		if v := judge(l, old, 3); v != resumetoken.Foreign {
 			t.Errorf("after its file was lost: %v", v)
 		}
 	}
@@ -119,19 +119,19 @@
 			clock.Store(time.Now().UnixNano())
 			now := func() time.Time { return time.Unix(0, clock.Load()) }
 			l, _ := start(t, Options{Dir: dir, Records: 3, Now: now})
-			var spent []*resume.Token
+			var spent []*resumetoken.Token
 			for range 3 {
 				_, tok := token(t, r, l, now(), 30*time.Second)
-				if v := judge(l, tok, 1); v != resume.Granted {
+				if v := judge(l, tok, 1); v != resumetoken.Granted {
 					t.Fatal(v)
 				}
 				spent = append(spent, tok)
 			}
 			_, more := token(t, r, l, now(), time.Hour)
-			if v := judge(l, more, 1); v != resume.Full || l.Ready() {
+			if v := judge(l, more, 1); v != resumetoken.Full || l.Ready() {
 				t.Errorf("one more: %v, ready %v", v, l.Ready())
 			}
-			if v := judge(l, spent[0], 1); v != resume.Granted {
+			if v := judge(l, spent[0], 1); v != resumetoken.Granted {
 				t.Errorf("asked again while full: %v", v)
 			}
 			clock.Add(int64(2 * time.Minute))
@@ -141,7 +141,7 @@
 					t.Fatalf("%d records were not forgotten", l.Kept())
 				}
 			}
-			if v := judge(l, more, 1); v != resume.Granted {
+			if v := judge(l, more, 1); v != resumetoken.Granted {
 				t.Errorf("with room again: %v", v)
 			}
 		})
@@ -156,7 +156,7 @@
 	if err := l.keeper.(*durable).store.Close(); err != nil { // the disk is gone
 		t.Fatal(err)
 	}
-	if v := judge(l, tok, 1); v != resume.Broken || l.Ready() || l.Kept() != 0 {
+	if v := judge(l, tok, 1); v != resumetoken.Broken || l.Ready() || l.Kept() != 0 {
 		t.Errorf("%v, ready %v, kept %d", v, l.Ready(), l.Kept())
 	}
 }
@@ -230,8 +230,8 @@
 	}
 }
 
-func present(token string) resume.Presentation {
-	return resume.Presentation{Text: token, FlowKey: "k", Group: "g"}
+func present(token string) resumetoken.Presentation {
+	return resumetoken.Presentation{Text: token, FlowKey: "k", Group: "g"}
 }
 
 // A token presented everywhere at once is honoured once, whoever arbitrates.
@@ -239,7 +239,7 @@
 	in := install(t, 3, Terms{Ring: ring(t, "a", "b"), Life: time.Minute, Skew: time.Second, Wait: 5 * time.Second})
 	in.services[1].Leave() // it names others from now on
 	for round := range 30 {
-		tok := in.services[round%2].Mint("k", "g", resume.Position{Epoch: 1, Offset: uint64(round)})
+		tok := in.services[round%2].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: uint64(round)})
 		var resumed, floors atomic.Int32
 		var wg sync.WaitGroup
 		for i := range 9 {
@@ -248,7 +248,7 @@
 				if o.Resume {
 					resumed.Add(1)
 				}
-				if o.Floor && o.Why == resume.Spent && o.Pos.Offset == uint64(round) {
+				if o.Floor && o.Why == resumetoken.Spent && o.Pos.Offset == uint64(round) {
 					floors.Add(1)
 				}
 			})
@@ -263,11 +263,11 @@
 // With its arbiter away a token is not honoured, in bounded time; it is unspent.
 func TestArbiterAway(t *testing.T) {
 	in := install(t, 2, Terms{Ring: ring(t, "a"), Life: time.Minute, Skew: time.Second, Wait: 150 * time.Millisecond})
-	tok := in.services[0].Mint("k", "g", resume.Position{Epoch: 1, Offset: 7})
+	tok := in.services[0].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: 7})
 	in.stops[0]()
 	begun := time.Now()
 	o := in.services[1].Redeem(context.Background(), present(tok))
-	if o.Resume || o.Why != resume.Unreachable || !o.Floor || o.Pos.Offset != 7 {
+	if o.Resume || o.Why != resumetoken.Unreachable || !o.Floor || o.Pos.Offset != 7 {
 		t.Errorf("%+v", o)
 	}
 	if took := time.Since(begun); took > 5*time.Second {
@@ -275,14 +275,14 @@
 	}
 	// Its own leaves too: nobody but itself is left, and its ledger survives.
 	in.services[1].Leave()
-	if m := in.services[1].Mint("k", "g", resume.Position{}); m == "" {
+	if m := in.services[1].Mint("k", "g", resumetoken.Position{}); m == "" {
 		t.Error("no token, though its own ledger survives a restart")
 	}
 	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.Resume {
 		t.Errorf("at its arbiter: %+v", o)
 	}
 	s := NewService("n9", in.ledgers[0], Terms{Ring: ring(t, "a"), Life: time.Minute, Wait: 20 * time.Millisecond}, nil)
-	if o := s.Redeem(context.Background(), present(tok)); o.Why != resume.Unreachable {
+	if o := s.Redeem(context.Background(), present(tok)); o.Why != resumetoken.Unreachable {
 		t.Errorf("an arbiter that nobody knows: %+v", o)
 	}
 }
@@ -291,7 +291,7 @@
 func TestStrangers(t *testing.T) {
 	r := ring(t, "a")
 	in := install(t, 2, Terms{Ring: r, Life: time.Minute, Skew: time.Second, Wait: time.Second})
-	tok := in.services[0].Mint("k", "g", resume.Position{})
+	tok := in.services[0].Mint("k", "g", resumetoken.Position{})
 	k, _ := ring(t, "z").Get(1)
 	claim := strings.Repeat("0", 32)
 	for name, text := range map[string]string{
@@ -321,12 +321,12 @@
 // A peer whose answers' seals don't fit, or which calls itself another, is no
 // arbiter.
 func TestLyingPeer(t *testing.T) {
-	for name, answer := range map[string]func(k *resume.Key, challenge, seq string) string{
-		"no key": func(*resume.Key, string, string) string { return "LEDGER 1 n1 00 ready stays 00\r\n" },
-		"old answer": func(k *resume.Key, _, seq string) string {
+	for name, answer := range map[string]func(k *resumetoken.Key, challenge, seq string) string{
+		"no key": func(*resumetoken.Key, string, string) string { return "LEDGER 1 n1 00 ready stays 00\r\n" },
+		"old answer": func(k *resumetoken.Key, _, seq string) string {
 			return sealed(k, "answer old", aboutMe, seq, "n1", "0102030405060708", "ready", "stays")
 		},
-		"another name": func(k *resume.Key, c, seq string) string {
+		"another name": func(k *resumetoken.Key, c, seq string) string {
 			return sealed(k, "answer "+c, aboutMe, seq, "n7", "0102030405060708", "ready", "stays")
 		},
 	} {
@@ -349,7 +349,7 @@
 				}
 			}
 		}()
-		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resume.Ring { return r }}
+		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resumetoken.Ring { return r }}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { p.Run(ctx); close(done) }()
@@ -379,7 +379,7 @@
 			b.RunParallel(func(p *testing.PB) {
 				for p.Next() {
 					_, tok := token(b, r, l, time.Now(), time.Hour)
-					if judge(l, tok, 1) != resume.Granted {
+					if judge(l, tok, 1) != resumetoken.Granted {
 						b.Error(errNoSpend)
 					}
 				}
@@ -403,8 +403,8 @@
 		for range perStep {
 			_, tok := token(t, r, l, time.Unix(0, clock.Load()), step)
 			wg.Add(1)
-			l.Spend(tok, resume.Claimant{1}, func(v resume.Verdict) {
-				if v != resume.Granted {
+			l.Spend(tok, resumetoken.Claimant{1}, func(v resumetoken.Verdict) {
+				if v != resumetoken.Granted {
 					t.Errorf("minute %d: %v", minute, v)
 				}
 				wg.Done()
@@ -432,14 +432,14 @@
 		var wg sync.WaitGroup
 		slots := make(chan struct{}, 1000)
 		for range records {
-			var n resume.Nonce
+			var n resumetoken.Nonce
 			_, _ = rand.Read(n[:])
 			_, tok := token(b, r, l, time.Now(), time.Hour)
 			tok.Nonce = n
 			slots <- struct{}{}
 			wg.Add(1)
-			l.Spend(tok, resume.Claimant{1}, func(v resume.Verdict) {
-				if v != resume.Granted {
+			l.Spend(tok, resumetoken.Claimant{1}, func(v resumetoken.Verdict) {
+				if v != resumetoken.Granted {
 					b.Error(v)
 				}
 				<-slots
@@ -461,7 +461,7 @@
 // ten thousand a second.
 func BenchmarkBesideForged(b *testing.B) {
 	in := install(b, 2, Terms{Ring: ring(b, "a"), Life: time.Hour, Skew: time.Second, Wait: time.Second})
-	forged := in.services[0].Mint("k", "g", resume.Position{})
+	forged := in.services[0].Mint("k", "g", resumetoken.Position{})
 	forged = forged[:len(forged)-4] + "AAAA"
 	for name, rate := range map[string]int{"without": 0, "with": 10} {
 		b.Run(name, func(b *testing.B) {
@@ -478,7 +478,7 @@
 			})
 			var took []time.Duration
 			for b.Loop() {
-				tok := in.services[0].Mint("k", "g", resume.Position{})
+				tok := in.services[0].Mint("k", "g", resumetoken.Position{})
 				begun := time.Now()
 				if !in.services[1].Redeem(ctx, present(tok)).Resume {
 					b.Error(errNoSpend)
--- a/internal/ledger/peer.go
+++ b/internal/replayguard/peer.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/tally"
 )
 
@@ -30,12 +30,12 @@
 // Peer is another node's ledger.
 type Peer struct {
 	Name, Addr string
-	ring       func() *resume.Ring
+	ring       func() *resumetoken.Ring
 	bad        tally.Tally
 
 	mu     sync.Mutex
 	link   *link // nil while there is no connection
-	member resume.Member
+	member resumetoken.Member
 	seen   time.Time // when it last said how it is
 }
 
@@ -49,12 +49,12 @@
 }
 
 type question struct {
-	key  *resume.Key
-	tell chan<- resume.Verdict // has room for one; closed if the link ends; nil for a hello
+	key  *resumetoken.Key
+	tell chan<- resumetoken.Verdict // has room for one; closed if the link ends; nil for a hello
 }
 
 // Member tells how the peer is.
-func (p *Peer) Member(now time.Time) resume.Member {
+func (p *Peer) Member(now time.Time) resumetoken.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member
@@ -136,7 +136,7 @@
 
 // ask puts a question, whose words follow the key's id. It is false if the link is
 // over or too many are out.
-func (p *Peer) ask(l *link, tell chan<- resume.Verdict, word string, words ...string) bool {
+func (p *Peer) ask(l *link, tell chan<- resumetoken.Verdict, word string, words ...string) bool {
 	k, ok := p.ring().Signer(time.Now())
 	if !ok {
 		return false
@@ -175,7 +175,7 @@
 	delete(l.waiting, seq)
 	switch {
 	case words[0] == aboutMe && len(words) == 7 && q.tell == nil:
-		m := resume.Member{Name: p.Name, Ready: words[4] == "ready", Stays: words[5] == "stays"}
+		m := resumetoken.Member{Name: p.Name, Ready: words[4] == "ready", Stays: words[5] == "stays"}
 		if words[2] != p.Name {
 			return fmt.Errorf("peer at %s calls itself %.40q, not %q", p.Addr, words[2], p.Name)
 		}
@@ -184,7 +184,7 @@
 		}
 		p.member, p.seen = m, time.Now()
 	case words[0] == verdict && len(words) == 4 && q.tell != nil:
-		v, ok := resume.ParseVerdict(words[2])
+		v, ok := resumetoken.ParseVerdict(words[2])
 		if !ok {
 			return fmt.Errorf("%w: verdict %.40q", errLine, words[2])
 		}
@@ -199,8 +199,8 @@
 
 // Spend asks the peer's ledger once. It returns errGone if there is no connection
 // or it breaks; the same question may then be put again.
-func (p *Peer) Spend(ctx context.Context, token string, c resume.Claimant) (resume.Verdict, error) {
-	tell := make(chan resume.Verdict, 1)
+func (p *Peer) Spend(ctx context.Context, token string, c resumetoken.Claimant) (resumetoken.Verdict, error) {
+	tell := make(chan resumetoken.Verdict, 1)
 	p.mu.Lock()
 	l := p.link
 	p.mu.Unlock()
@@ -214,7 +214,7 @@
 		}
 		return v, nil
 	case <-ctx.Done(): // the answer, if it comes, finds room and nobody
-		return resume.Unreachable, nil
+		return resumetoken.Unreachable, nil
 	}
 }
 
--- a/internal/ledger/server.go
+++ b/internal/replayguard/server.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/tally"
 )
 
@@ -31,7 +31,7 @@
 type Server struct {
 	Name   string
 	Ledger *Ledger
-	Ring   func() *resume.Ring
+	Ring   func() *resumetoken.Ring
 	bad    tally.Tally
 }
 
@@ -133,7 +133,7 @@
 	}
 	challenge, seq := words[1], words[2]
 	id, err := strconv.ParseUint(words[3], 16, 32)
-	k, known := s.Ring().Get(resume.KeyID(id))
+	k, known := s.Ring().Get(resumetoken.KeyID(id))
 	if err != nil || !known || !unseal(k, "ask", words) {
 		return fmt.Errorf("%w: its seal does not fit, key %.10q", errLine, words[3])
 	}
@@ -149,14 +149,14 @@
 		say(sealed(k, context, aboutMe, seq, s.Name, hex.EncodeToString(s.Ledger.ID[:]), room, stays))
 		return nil
 	}
-	var c resume.Claimant
+	var c resumetoken.Claimant
 	if n, err := hex.Decode(c[:], []byte(words[4])); err != nil || n != len(c) {
 		return fmt.Errorf("%w: claimant %.40q", errLine, words[4])
 	}
-	tell := func(v resume.Verdict) { say(sealed(k, context, verdict, seq, v.String())) }
-	t, err := resume.Open(s.Ring(), words[5])
+	tell := func(v resumetoken.Verdict) { say(sealed(k, context, verdict, seq, v.String())) }
+	t, err := resumetoken.Open(s.Ring(), words[5])
 	if err != nil {
-		tell(resume.Forged)
+		tell(resumetoken.Forged)
 		return nil
 	}
 	s.Ledger.Spend(&t, c, tell)
--- a/internal/ledger/service.go
+++ b/internal/replayguard/service.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/resume"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/tally"
 )
 
@@ -17,7 +17,7 @@
 
 // Terms are what may change while the node runs.
 type Terms struct {
-	Ring *resume.Ring
+	Ring *resumetoken.Ring
 	Life time.Duration // of a token
 	Skew time.Duration // by which nodes' clocks may differ
 	Wait time.Duration // for an arbiter's answer, before the client gets a snapshot
@@ -37,7 +37,7 @@
 // Counts are what a Service has done so far.
 type Counts struct {
 	Minted, Bare atomic.Int64 // tokens; moves without one
-	Verdicts     [resume.Unreachable + 1]atomic.Int64
+	Verdicts     [resumetoken.Unreachable + 1]atomic.Int64
 }
 
 // NewService returns the node's service; peers are its addresses by name.
@@ -62,7 +62,7 @@
 }
 
 // Ring returns the keys in force.
-func (s *Service) Ring() *resume.Ring { return s.terms.Load().Ring }
+func (s *Service) Ring() *resumetoken.Ring { return s.terms.Load().Ring }
 
 // Change puts other terms in force.
 func (s *Service) Change(t Terms) { s.terms.Store(&t) }
@@ -73,24 +73,24 @@
 
 // Mint returns a token for a client that is moved, or "" if nobody could arbitrate
 // one.
-func (s *Service) Mint(flowKey, group string, pos resume.Position) string {
+func (s *Service) Mint(flowKey, group string, pos resumetoken.Position) string {
 	now, terms := time.Now(), s.terms.Load()
-	var n resume.Nonce
+	var n resumetoken.Nonce
 	_, _ = rand.Read(n[:])
-	peers := make([]resume.Member, 0, len(s.peers))
+	peers := make([]resumetoken.Member, 0, len(s.peers))
 	for _, p := range s.peers {
 		peers = append(peers, p.Member(now))
 	}
-	self := resume.Member{Name: s.name, Ledger: s.ledger.ID, Ready: s.ledger.Ready(), Stays: s.ledger.Stays}
-	arbiter, ok := resume.Choose(self, s.leaving.Load(), peers, n)
+	self := resumetoken.Member{Name: s.name, Ledger: s.ledger.ID, Ready: s.ledger.Ready(), Stays: s.ledger.Stays}
+	arbiter, ok := resumetoken.Choose(self, s.leaving.Load(), peers, n)
 	if !ok {
 		s.Counts.Bare.Add(1)
 		return ""
 	}
-	if sabotage.On("position") {
+	if mutation.On("position") {
 		pos.Offset++
 	}
-	text, err := resume.Mint(terms.Ring, now, resume.Grant{Issuer: s.name, Arbiter: arbiter.Name, Ledger: arbiter.Ledger,
+	text, err := resumetoken.Mint(terms.Ring, now, resumetoken.Grant{Issuer: s.name, Arbiter: arbiter.Name, Ledger: arbiter.Ledger,
 		Pos: pos, FlowKey: flowKey, Group: group, Life: terms.Life, Nonce: n})
 	if err != nil {
 		s.failed.Warn("no token for a moved client", "err", err)
@@ -102,14 +102,14 @@
 }
 
 // Redeem settles one presentation, within the terms' wait and before ctx ends.
-func (s *Service) Redeem(ctx context.Context, p resume.Presentation) resume.Outcome {
+func (s *Service) Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome {
 	terms := s.terms.Load()
-	if sabotage.On("binding") {
-		if t, err := resume.Open(terms.Ring, p.Text); err == nil {
-			return s.ask(ctx, terms, p.Text, &resume.Redemption{Token: t})
+	if mutation.On("binding") {
+		if t, err := resumetoken.Open(terms.Ring, p.Text); err == nil {
+			return s.ask(ctx, terms, p.Text, &resumetoken.Redemption{Token: t})
 		}
 	}
-	r, o, settled := resume.Begin(terms.Ring, time.Now(), p, terms.Skew)
+	r, o, settled := resumetoken.Begin(terms.Ring, time.Now(), p, terms.Skew)
 	if !settled {
 		o = s.ask(ctx, terms, p.Text, r)
 	}
@@ -117,14 +117,14 @@
 	return o
 }
 
-func (s *Service) ask(ctx context.Context, terms *Terms, text string, r *resume.Redemption) resume.Outcome {
+func (s *Service) ask(ctx context.Context, terms *Terms, text string, r *resumetoken.Redemption) resumetoken.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, terms.Wait)
 	defer cancel()
-	var c resume.Claimant
+	var c resumetoken.Claimant
 	_, _ = rand.Read(c[:])
 	v := s.verdict(ctx, text, &r.Token, c)
-	if sabotage.On("ledger") {
-		v = resume.Granted
+	if mutation.On("ledger") {
+		v = resumetoken.Granted
 	}
 	o, _ := r.Answered(v)
 	return o
@@ -132,20 +132,20 @@
 
 // verdict asks the token's arbiter, again under the same claim where the
 // connection broke, until ctx ends.
-func (s *Service) verdict(ctx context.Context, text string, t *resume.Token, c resume.Claimant) resume.Verdict {
+func (s *Service) verdict(ctx context.Context, text string, t *resumetoken.Token, c resumetoken.Claimant) resumetoken.Verdict {
 	if t.Arbiter == s.name {
-		tell := make(chan resume.Verdict, 1)
-		s.ledger.Spend(t, c, func(v resume.Verdict) { tell <- v })
+		tell := make(chan resumetoken.Verdict, 1)
+		s.ledger.Spend(t, c, func(v resumetoken.Verdict) { tell <- v })
 		select {
 		case v := <-tell:
 			return v
 		case <-ctx.Done():
-			return resume.Unreachable
+			return resumetoken.Unreachable
 		}
 	}
 	p := s.peers[t.Arbiter]
 	if p == nil {
-		return resume.Unreachable
+		return resumetoken.Unreachable
 	}
 	for {
 		v, err := p.Spend(ctx, text, c)
@@ -154,7 +154,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return resume.Unreachable
+			return resumetoken.Unreachable
 		case <-time.After(retry):
 		}
 	}
--- a/internal/ledger/stored_test.go
+++ b/internal/replayguard/stored_test.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"bufio"
@@ -15,13 +15,13 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/store"
 )
 
 // testdata/stored/ledger.db was made by
 //
-//	go test ./internal/ledger -run TestReadsStoredLedger -update
+//	go test ./internal/replayguard -run TestReadsStoredLedger -update
 //
 // It holds storedTokens, spent and swept at storedTime.
 var update = flag.Bool("update", false, "rewrite testdata/stored")
@@ -31,7 +31,7 @@
 // storedTime lies in window 180000000.
 var storedTime = time.UnixMilli(1_800_000_004_567)
 
-var storedID = resume.LedgerID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
+var storedID = resumetoken.LedgerID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
 
 // storedTokens are sealed by the second key of ring(t, "a", "b") and issued at storedTime.
 var storedTokens = []struct{ claimant, text string }{
@@ -43,18 +43,18 @@
 // sweptToken was issued a minute before storedTime and expired in the last window swept.
 const sweptToken = "AQAAAAIKGyw9Tl9gcQAAAAAAAADjAAAAAAAAAGcAAAGjGFt3dwAAw1B0IqDVCNsa9YrYp84tErrhQEFCQ0RFRkdISUpLTE1OTwJuMQJuMPfDzUrfSsvaXjqq-ZeJX4k"
 
-func claimant(t testing.TB, text string) resume.Claimant {
+func claimant(t testing.TB, text string) resumetoken.Claimant {
 	t.Helper()
 	b, err := hex.DecodeString(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resume.Claimant(b)
+	return resumetoken.Claimant(b)
 }
 
-func openToken(t testing.TB, text string) *resume.Token {
+func openToken(t testing.TB, text string) *resumetoken.Token {
 	t.Helper()
-	tok, err := resume.Open(ring(t, "a", "b"), text)
+	tok, err := resumetoken.Open(ring(t, "a", "b"), text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 	l, stop := startStored(t, dir, storedTime)
 	l.keeper.sweep()
 	for _, tok := range storedTokens {
-		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resume.Granted {
+		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
 			t.Fatal(v)
 		}
 	}
@@ -103,7 +103,7 @@
 
 // contents lists what a ledger's file holds, keys below the first bucket and values in
 // hexadecimal digits, and the records of each window.
-func contents(t *testing.T, dir string) (lines []string, records map[resume.Window]int) {
+func contents(t *testing.T, dir string) (lines []string, records map[resumetoken.Window]int) {
 	t.Helper()
 	s, err := store.Open(filepath.Join(dir, "ledger.db"), Schema, store.Options{ReadOnly: true})
 	if err != nil {
@@ -121,12 +121,12 @@
 			return nil
 		})
 	}
-	records = map[resume.Window]int{}
+	records = map[resumetoken.Window]int{}
 	err = s.View(func(tx *store.Tx) error {
 		if err := tx.ForEach(func(name []byte, b *store.Bucket) error { return list(string(name), b) }); err != nil {
 			return err
 		}
-		return EachWindow(tx, func(w resume.Window, spent int) { records[w] = spent })
+		return EachWindow(tx, func(w resumetoken.Window, spent int) { records[w] = spent })
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -160,7 +160,7 @@
 		if !slices.Equal(lines, want) {
 			t.Errorf("%s: it holds\n%s\nwant\n%s", name, strings.Join(lines, "\n"), strings.Join(want, "\n"))
 		}
-		if want := map[resume.Window]int{180000003: 2, 180000060: 1}; !maps.Equal(records, want) {
+		if want := map[resumetoken.Window]int{180000003: 2, 180000060: 1}; !maps.Equal(records, want) {
 			t.Errorf("%s: %v records by window, want %v", name, records, want)
 		}
 	}
@@ -172,14 +172,14 @@
 		t.Errorf("ledger %x, stays %v, %d records", l.ID, l.Stays, l.Kept())
 	}
 	for i, tok := range storedTokens {
-		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resume.Granted {
+		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
 			t.Errorf("token %d by who had it: %v", i, v)
 		}
-		if v := judge(l, openToken(t, tok.text), 1); v != resume.Spent {
+		if v := judge(l, openToken(t, tok.text), 1); v != resumetoken.Spent {
 			t.Errorf("token %d by another: %v", i, v)
 		}
 	}
-	if v := judge(l, openToken(t, sweptToken), 1); v != resume.Expired {
+	if v := judge(l, openToken(t, sweptToken), 1); v != resumetoken.Expired {
 		t.Errorf("a token that was swept: %v", v)
 	}
 }
@@ -222,7 +222,7 @@
 func TestServerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
 	l, _ := startStored(t, copyStored(t), storedTime)
-	s := &Server{Name: "n0", Ledger: l, Ring: func() *resume.Ring { return keys }}
+	s := &Server{Name: "n0", Ledger: l, Ring: func() *resumetoken.Ring { return keys }}
 	for _, line := range wireLines {
 		if answer := exchange(t, s, line.ask); answer != line.answer {
 			t.Errorf("%q\nis answered %q\nwant        %q", line.ask, answer, line.answer)
@@ -240,7 +240,7 @@
 
 func TestPeerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
-	p := &Peer{Name: "n0", ring: func() *resume.Ring { return keys }}
+	p := &Peer{Name: "n0", ring: func() *resumetoken.Ring { return keys }}
 	p.link = &link{challenge: wireChallenge, out: make(chan string, 1), waiting: map[uint64]*question{}}
 	talk := func(i int) {
 		t.Helper()
@@ -253,17 +253,17 @@
 	}
 	p.ask(p.link, nil, hello)
 	talk(0)
-	if want := (resume.Member{Name: "n0", Ledger: storedID, Ready: true, Stays: true}); p.member != want {
+	if want := (resumetoken.Member{Name: "n0", Ledger: storedID, Ready: true, Stays: true}); p.member != want {
 		t.Errorf("the peer is %+v, want %+v", p.member, want)
 	}
 	for i, c := range []struct {
 		claimant string
-		want     resume.Verdict
+		want     resumetoken.Verdict
 	}{
-		{"b0b1b2b3b4b5b6b7b8b9babbbcbdbebf", resume.Granted},
-		{"d0d1d2d3d4d5d6d7d8d9dadbdcdddedf", resume.Spent},
+		{"b0b1b2b3b4b5b6b7b8b9babbbcbdbebf", resumetoken.Granted},
+		{"d0d1d2d3d4d5d6d7d8d9dadbdcdddedf", resumetoken.Spent},
 	} {
-		answered := make(chan resume.Verdict, 1)
+		answered := make(chan resumetoken.Verdict, 1)
 		by := claimant(t, c.claimant)
 		go func() {
 			v, _ := p.Spend(context.Background(), storedTokens[1].text, by)
--- a/internal/ledger/wire.go
+++ b/internal/replayguard/wire.go
@@ -1,4 +1,4 @@
-package ledger
+package replayguard
 
 import (
 	"bufio"
@@ -8,7 +8,7 @@
 	"fmt"
 	"strings"
 
-	"coralrelay/internal/resume"
+	"coralrelay/internal/resumetoken"
 )
 
 // What ledgers say to each other: lines, each sealed with the peer subkey of a key
@@ -46,16 +46,16 @@
 }
 
 // sealed joins words with their seal.
-func sealed(k *resume.Key, context string, words ...string) string {
+func sealed(k *resumetoken.Key, context string, words ...string) string {
 	return strings.Join(append(words, seal(k, context, words)), " ") + "\r\n"
 }
 
-func seal(k *resume.Key, context string, words []string) string {
+func seal(k *resumetoken.Key, context string, words []string) string {
 	return hex.EncodeToString(k.Peer(append([]string{context}, words...)...))
 }
 
 // unseal tells whether the last word is the seal of those before.
-func unseal(k *resume.Key, context string, words []string) bool {
+func unseal(k *resumetoken.Key, context string, words []string) bool {
 	last := len(words) - 1
 	want := seal(k, context, words[:last])
 	return subtle.ConstantTimeCompare([]byte(want), []byte(words[last])) == 1
--- a/internal/resume/keys.go
+++ b/internal/resumetoken/keys.go
@@ -1,4 +1,4 @@
-package resume
+package resumetoken
 
 import (
 	"crypto/hkdf"
--- a/internal/resume/stored_test.go
+++ b/internal/resumetoken/stored_test.go
@@ -1,4 +1,4 @@
-package resume
+package resumetoken
 
 import (
 	"encoding/hex"
@@ -11,7 +11,7 @@
 
 // testdata/stored/token.txt was made by
 //
-//	go test ./internal/resume -run TestStoredToken -update
+//	go test ./internal/resumetoken -run TestStoredToken -update
 var update = flag.Bool("update", false, "rewrite testdata/stored")
 
 const storedToken = "testdata/stored/token.txt"
--- a/internal/resume/token.go
+++ b/internal/resumetoken/token.go
@@ -4,7 +4,7 @@
 //
 // A token names the one ledger that arbitrates it. That ledger alone, with its
 // one clock, says whether it is spent, so nodes need agree on nothing.
-package resume
+package resumetoken
 
 import (
 	"crypto/hmac"
--- a/internal/session/session.go
+++ b/internal/resumption/session.go
@@ -1,38 +1,38 @@
 // Package session lets a moved caller of the line protocol go on where it was: it
 // follows the position in the stream that a next hop sends, puts it into the MOVE
 // as a token, and starts the stream of who presents one.
-package session
+package resumption
 
 import (
 	"context"
 	"time"
 
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/ledger"
-	"coralrelay/internal/line"
-	"coralrelay/internal/resume"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
+	"coralrelay/internal/replayguard"
+	"coralrelay/internal/resumetoken"
 )
 
 // Tokens mints and redeems; *ledger.Service does.
 type Tokens interface {
-	Mint(flowKey, group string, pos resume.Position) string
-	Redeem(ctx context.Context, p resume.Presentation) resume.Outcome
+	Mint(flowKey, group string, pos resumetoken.Position) string
+	Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome
 }
 
-var _ Tokens = (*ledger.Service)(nil)
+var _ Tokens = (*replayguard.Service)(nil)
 
 // Sessions makes them.
 type Sessions struct{ Tokens Tokens }
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Sessions) Continuity(o *line.Open) exchange.Continuity {
+func (s Sessions) Continuity(o *lineproto.Open) proxy.Continuity {
 	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
-	if o.Resume != line.Asked {
+	if o.Resume != lineproto.Asked {
 		c.token = o.Resume
 	}
-	if pos, err := resume.ParsePosition(o.After); err == nil {
-		c.floor = resume.Outcome{Floor: true, Pos: pos}
+	if pos, err := resumetoken.ParsePosition(o.After); err == nil {
+		c.floor = resumetoken.Outcome{Floor: true, Pos: pos}
 	}
 	o.Conceal()
 	return c
@@ -42,9 +42,9 @@
 type session struct {
 	tokens      Tokens
 	key, group  string
-	token       string         // that it presented; empty if none
-	floor       resume.Outcome // what it says it has: it can only ask for no older
-	reading     line.Reading
+	token       string              // that it presented; empty if none
+	floor       resumetoken.Outcome // what it says it has: it can only ask for no older
+	reading     lineproto.Reading
 	came        time.Time
 	ticket      string
 	wasTicketed bool
@@ -53,12 +53,12 @@
 // Begin redeems the token now that a next hop has taken the caller: one that gets
 // a busy answer keeps it unspent.
 func (c *session) Begin(ctx context.Context, up string) string {
-	if !line.Resumable(up) {
+	if !lineproto.Resumable(up) {
 		return ""
 	}
 	o := c.floor
 	if c.token != "" {
-		got := c.tokens.Redeem(ctx, resume.Presentation{Text: c.token, FlowKey: c.key, Group: c.group})
+		got := c.tokens.Redeem(ctx, resumetoken.Presentation{Text: c.token, FlowKey: c.key, Group: c.group})
 		// Spent, a token still proves what its caller has seen; the caller itself may
 		// say that it has seen more since.
 		later := o.Floor && o.Pos.Epoch == got.Pos.Epoch && o.Pos.Offset > got.Pos.Offset
@@ -66,7 +66,7 @@
 			o = got
 		}
 	}
-	return line.Start(o, c.came)
+	return lineproto.Start(o, c.came)
 }
 
 func (c *session) Passed(text []byte) { c.reading.Pass(text) }
--- a/internal/route/told/told.go
+++ b/internal/route/snapshot/told.go
@@ -1,7 +1,7 @@
 // Package told makes what an agent tells its node of routes out of the record's state. It
 // stands apart so that the node does not link what only the agent needs. It does no I/O,
 // reads no clock and starts no goroutine.
-package told
+package snapshot
 
 import (
 	"cmp"
@@ -10,16 +10,16 @@
 	"strings"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/route"
 )
 
 // Whole returns all of it, at an index of the record: routes by path, allocations by
 // contract. Regions are sets of zones by name; ready counts next hops by zone, as far as
 // the node has told them. What it returns shares the state's slices and changes nothing.
-func Whole(index uint64, a account.State, p promise.State, regions map[string][]string, ready map[string]int) route.Wire {
+func Whole(index uint64, a account.State, p slo.State, regions map[string][]string, ready map[string]int) route.Wire {
 	w := route.Wire{Index: index, Whole: true, Ready: ready}
-	held := map[string][]promise.Contract{}
+	held := map[string][]slo.Contract{}
 	for _, c := range p.Contracts {
 		held[c.Holder] = append(held[c.Holder], c)
 	}
@@ -89,13 +89,13 @@
 
 // contract names the contract that a route goes by: the one that it states, or that of the
 // nearest holder, of several the first by priority that was ever steered.
-func contract(r *account.Route, p promise.State, held map[string][]promise.Contract) string {
+func contract(r *account.Route, p slo.State, held map[string][]slo.Contract) string {
 	if r.Contract != "" {
 		return r.Contract
 	}
 	for path := r.Path(); path != ""; path = above(path) {
 		if of := held[path]; len(of) > 0 {
-			best := slices.MinFunc(of, func(a, b promise.Contract) int {
+			best := slices.MinFunc(of, func(a, b slo.Contract) int {
 				return cmp.Or(cmp.Compare(unsteered(p, a), unsteered(p, b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
 			})
 			return best.Name
@@ -104,7 +104,7 @@
 	return ""
 }
 
-func unsteered(p promise.State, c promise.Contract) int {
+func unsteered(p slo.State, c slo.Contract) int {
 	if _, ok := p.Allocation(c.Name); ok {
 		return 0
 	}
--- a/internal/route/told/told_test.go
+++ b/internal/route/snapshot/told_test.go
@@ -1,11 +1,11 @@
-package told
+package snapshot
 
 import (
 	"fmt"
 	"testing"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/route"
 )
 
@@ -17,25 +17,25 @@
 		name  string
 		scope []string
 		parts []account.Part
-		at    promise.Contract
+		at    slo.Contract
 		share map[string]float64
 		want  string
 	}{
-		{"no bound", nil, nil, promise.Contract{}, nil, "<nil>"},
-		{"the account's region", []string{"north"}, nil, promise.Contract{}, nil, "[{a 1} {b 1}]"},
-		{"parts of regions, by transactions", nil, []account.Part{{Zone: "north", Percent: 80}, {Zone: "south", Percent: 20}}, promise.Contract{}, nil, "[{a 1} {b 1} {c 1}]"},
-		{"the account's contract", nil, nil, promise.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{b 1} {c 1}]"},
-		{"the route's own", nil, nil, promise.Contract{Name: "gold", Holder: "acme/web:r"}, map[string]float64{"a": 0.75, "c": 0.25}, "[{a 1} {c 1}]"},
-		{"another's contract", nil, nil, promise.Contract{Name: "gold", Holder: "acme/shop"}, map[string]float64{"a": 1}, "<nil>"},
-		{"within the account's region", []string{"south"}, nil, promise.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{c 1}]"},
+		{"no bound", nil, nil, slo.Contract{}, nil, "<nil>"},
+		{"the account's region", []string{"north"}, nil, slo.Contract{}, nil, "[{a 1} {b 1}]"},
+		{"parts of regions, by transactions", nil, []account.Part{{Zone: "north", Percent: 80}, {Zone: "south", Percent: 20}}, slo.Contract{}, nil, "[{a 1} {b 1} {c 1}]"},
+		{"the account's contract", nil, nil, slo.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{b 1} {c 1}]"},
+		{"the route's own", nil, nil, slo.Contract{Name: "gold", Holder: "acme/web:r"}, map[string]float64{"a": 0.75, "c": 0.25}, "[{a 1} {c 1}]"},
+		{"another's contract", nil, nil, slo.Contract{Name: "gold", Holder: "acme/shop"}, map[string]float64{"a": 1}, "<nil>"},
+		{"within the account's region", []string{"south"}, nil, slo.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{c 1}]"},
 	} {
 		r := &account.Route{Name: "r", Owner: "acme/web", Parts: tt.parts}
 		a := account.State{Nodes: map[string]*account.Node{"acme": {Scope: account.Scope{Zones: tt.scope}}, "acme/web": {}},
 			Routes: map[string]*account.Route{r.Path(): r}}
-		p := promise.State{}
+		p := slo.State{}
 		if tt.at.Name != "" {
-			p.Contracts = []promise.Contract{tt.at}
-			p.Steered = []promise.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
+			p.Contracts = []slo.Contract{tt.at}
+			p.Steered = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
 		}
 		table, err := route.Compile(Whole(7, a, p, regions, ready))
 		if err != nil {
--- a/internal/rig/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -13,9 +13,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // Options size the scene.
@@ -53,7 +53,7 @@
 
 // scene is one run.
 type scene struct {
-	*world.World
+	*testbed.World
 	tree  *tree
 	watch *watchers
 	log   *history
@@ -72,22 +72,22 @@
 
 // Play plays the scene: teams change routes, limits and grants at once through different
 // agents, while leaders die, links break, a disk fills up and agents stall.
-func Play(ctx context.Context, o Options) (*world.Result, error) {
+func Play(ctx context.Context, o Options) (*testbed.Result, error) {
 	if _, ok := Sabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
 	}
 	t, err := newTree(o.Teams)
 	if err != nil {
 		return nil, err
 	}
-	w := world.Options{Scene: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
+	w := testbed.Options{Scene: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
 		Sabotage: o.Sabotage, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operator.File) {
+	w.Own = func(_ string, f *operatorconfig.File) {
 		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(t.root.public())
-		f.Fleet.Record.Lease = operator.Duration{Duration: lease}
+		f.Fleet.Record.Lease = operatorconfig.Duration{Duration: lease}
 	}
 	w.Clock = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
@@ -96,16 +96,16 @@
 		return 0
 	}
 	if o.Sabotage != "" {
-		dir, err := os.MkdirTemp("", "coralrig-")
+		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		if w.Agent, err = world.Sabotaged(ctx, dir, "coralfleet"); err != nil {
+		if w.Agent, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
-	built, err := world.New(ctx, w)
+	built, err := testbed.New(ctx, w)
 	if err != nil {
 		return nil, err
 	}
@@ -125,7 +125,7 @@
 func (s *scene) run(ctx context.Context, chosen []string) error {
 	defer s.writers.Wait()
 	defer func() { s.stop() }()
-	err := s.Play(ctx, []world.Step{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
+	err := s.Play(ctx, []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
 		{Name: "oneway", Do: s.oneWay}, {Name: "apart", Do: s.apart}, {Name: "disk", Do: s.disk}, {Name: "stall", Do: s.stall},
 		{Name: "many", Do: s.many}}, chosen)
 	if err != nil {
@@ -144,7 +144,7 @@
 // meet lets members find each other and agree on a leader, founds the accounts, and has
 // writers begin.
 func (s *scene) meet(ctx context.Context, _ *mrand.Rand) error {
-	if _, met := world.Await(ctx, 15*time.Second, func() bool { return s.watch.asOne(s.Names) }); !met && ctx.Err() == nil {
+	if _, met := testbed.Await(ctx, 15*time.Second, func() bool { return s.watch.asOne(s.Names) }); !met && ctx.Err() == nil {
 		return fmt.Errorf("members did not meet: %s", s.watch.say())
 	}
 	if err := s.found(ctx); err != nil {
@@ -160,18 +160,18 @@
 }
 
 func (s *scene) calm(ctx context.Context, _ *mrand.Rand) error {
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	return nil
 }
 
 // agree heals all and waits until all members hold the same.
 func (s *scene) agree(ctx context.Context) {
 	s.Relay.Heal()
-	took, came := world.Await(ctx, oneMost, func() bool { return s.watch.asOne(s.Names) })
+	took, came := testbed.Await(ctx, oneMost, func() bool { return s.watch.asOne(s.Names) })
 	s.Set("as_one_again_ms", float64(took.Milliseconds()))
 	if !came && ctx.Err() == nil {
 		s.Broken("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", oneMost, s.watch.say()))
 	}
 	// Trees are asked for after states: the last ones have to come, too.
-	world.Await(ctx, time.Second, func() bool { return s.watch.read(s.Names) })
+	testbed.Await(ctx, time.Second, func() bool { return s.watch.read(s.Names) })
 }
--- a/internal/rig/accounts/faults.go
+++ b/internal/scenario/accounts/faults.go
@@ -7,14 +7,14 @@
 	"slices"
 	"time"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/rig/fault"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/scenario/faultproxy"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // cut is what befalls a link that is broken.
-var cut = fault.Fault{Cut: true}
+var cut = faultproxy.Fault{Cut: true}
 
 // spoiled notes that something befalls an agent, until mended, which comes just before it
 // is undone.
@@ -33,7 +33,7 @@
 // head names the leader, which must be known, and notes that it is lost from now on.
 func (s *scene) head(ctx context.Context) (string, error) {
 	name := ""
-	if _, ok := world.Await(ctx, lostMost, func() bool { name = s.watch.leader(); return name != "" }); !ok && ctx.Err() == nil {
+	if _, ok := testbed.Await(ctx, lostMost, func() bool { name = s.watch.leader(); return name != "" }); !ok && ctx.Err() == nil {
 		return "", fmt.Errorf("no leader: %s", s.watch.say())
 	}
 	s.spoiled(name)
@@ -67,7 +67,7 @@
 	if s.Get("not_back") > 0 { // it is broken already, and the verdict can come
 		most = time.Second
 	}
-	took, came := world.Await(ctx, most, func() bool {
+	took, came := testbed.Await(ctx, most, func() bool {
 		l, up := s.watch.now(name)
 		return up && l.Fresh && (l.Role == "follower" || l.Role == "voter" || l.Role == "leader")
 	})
@@ -86,7 +86,7 @@
 			return err
 		}
 		s.Agents[name].Kill()
-		standin.Sleep(ctx, 1800*time.Millisecond)
+		fake.Sleep(ctx, 1800*time.Millisecond)
 		s.mended(name)
 		if err := s.Agents[name].Start(); err != nil {
 			return err
@@ -103,7 +103,7 @@
 	deaf := s.other(rng, true, name)
 	s.spoiled(deaf)
 	s.Relay.Set(name, deaf, cut)
-	standin.Sleep(ctx, 1500*time.Millisecond)
+	fake.Sleep(ctx, 1500*time.Millisecond)
 	s.mended(deaf)
 	s.Relay.Heal()
 	s.back(ctx, "oneway", deaf)
@@ -112,7 +112,7 @@
 		return err
 	}
 	s.Relay.OneWay(s.rest(name), []string{name}, cut)
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	s.mended(name)
 	s.Relay.Heal()
 	s.back(ctx, "oneway", name)
@@ -125,7 +125,7 @@
 	lone := s.other(rng, false)
 	s.spoiled(lone)
 	s.Relay.Between([]string{lone}, s.rest(lone), cut)
-	standin.Sleep(ctx, lease+1200*time.Millisecond)
+	fake.Sleep(ctx, lease+1200*time.Millisecond)
 	if l, up := s.watch.now(lone); up && l.Fresh && l.State.Index < s.committed(time.Now().Add(-lease-200*time.Millisecond)) {
 		s.Broken("fresh", fmt.Sprintf("%s says that its word is fresh, %v after it was cut off", lone, lease+1200*time.Millisecond))
 	}
@@ -144,7 +144,7 @@
 			s.propose(t.key, name, account.Change{Base: base.Version, Ops: []account.Op{w.put(t.path, fmt.Sprintf("lone%d", i))}}, "cut-off", "")
 		})
 	}
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	s.mended(name)
 	s.Relay.Heal()
 	s.back(ctx, "apart", name)
@@ -160,7 +160,7 @@
 	if err := s.Agents[name].Disk(true); err != nil {
 		return err
 	}
-	standin.Sleep(ctx, 2500*time.Millisecond)
+	fake.Sleep(ctx, 2500*time.Millisecond)
 	if l, up := s.watch.now(name); !up || l.Disk == "" || l.Role == "leader" {
 		s.Broken("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.Disk))
 	}
@@ -184,7 +184,7 @@
 			name = lead
 		}
 		s.Agents[name].Stop()
-		standin.Sleep(ctx, 2200*time.Millisecond)
+		fake.Sleep(ctx, 2200*time.Millisecond)
 		s.mended(name)
 		s.Agents[name].Cont()
 		s.back(ctx, "stall", name)
@@ -206,7 +206,7 @@
 	s.Agents[name].Kill()
 	s.Relay.OneWay(s.rest(deaf), []string{deaf}, cut)
 	s.Agents[slow].Stop()
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	all := []string{name, deaf, slow}
 	for _, one := range all {
 		s.mended(one)
--- a/internal/rig/accounts/judge.go
+++ b/internal/scenario/accounts/judge.go
@@ -10,7 +10,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // judge holds all that was answered and seen to the rules. Whole tells that all steps were
@@ -108,14 +108,14 @@
 }
 
 // told are the hashes that members told, by index. Who told another than the first is wrong.
-func (s *scene) told() map[uint64]entry.Hash {
+func (s *scene) told() map[uint64]logentry.Hash {
 	s.watch.mu.Lock()
 	defer s.watch.mu.Unlock()
-	all, who := map[uint64]entry.Hash{}, map[uint64]string{}
+	all, who := map[uint64]logentry.Hash{}, map[uint64]string{}
 	for _, name := range slices.Sorted(maps.Keys(s.watch.looks)) {
 		at := uint64(0)
 		for _, l := range s.watch.looks[name] {
-			var h entry.Hash
+			var h logentry.Hash
 			if l.Index == at || h.UnmarshalText([]byte(l.Hash)) != nil {
 				continue
 			}
@@ -132,13 +132,13 @@
 
 // ordered holds the history to the model, and returns the states of the order that was
 // found; nil where there is none.
-func (s *scene) ordered(ops []*op) map[entry.Hash]*entry.State {
+func (s *scene) ordered(ops []*op) map[logentry.Hash]*logentry.State {
 	hashes := s.told()
 	final, _ := s.watch.now(s.Names[0])
 	s.watch.mu.Lock()
 	genesis := s.watch.last[s.Names[0]].Genesis
 	s.watch.mu.Unlock()
-	first, err := entry.New(genesis)
+	first, err := logentry.New(genesis)
 	if err != nil {
 		s.Broken("history", err.Error())
 		return nil
@@ -159,7 +159,7 @@
 }
 
 // same holds each state that a member showed to what the entries before it add up to.
-func (s *scene) same(states map[entry.Hash]*entry.State) {
+func (s *scene) same(states map[logentry.Hash]*logentry.State) {
 	s.watch.mu.Lock()
 	defer s.watch.mu.Unlock()
 	for index, list := range s.watch.sights {
--- a/internal/rig/accounts/model.go
+++ b/internal/scenario/accounts/model.go
@@ -7,7 +7,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"coralrelay/internal/fleet/entry"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // model is what the record promises to those who propose: one order of all entries, which
@@ -23,32 +23,32 @@
 // other: the refusals of all at once would be too many to try in every order. So two authors'
 // that are possible one by one but not together would not be seen.
 type model struct {
-	known  map[uint64]bool       // indices of answers
-	hashes map[uint64]entry.Hash // as members told
+	known  map[uint64]bool          // indices of answers
+	hashes map[uint64]logentry.Hash // as members told
 
 	mu     sync.Mutex // authors are searched side by side
 	done   map[step]after
-	states map[entry.Hash]*entry.State // all that the search came by
+	states map[logentry.Hash]*logentry.State // all that the search came by
 }
 
 type step struct {
-	at entry.Hash
+	at logentry.Hash
 	op *op
 }
 
 type after struct {
-	next *entry.State
-	out  entry.Outcome
+	next *logentry.State
+	out  logentry.Outcome
 }
 
 // place is a state, and whether the history is over: then what has no place yet has none.
 type place struct {
-	*entry.State
+	*logentry.State
 	over bool
 }
 
-func newModel(first *entry.State, ops []*op, hashes map[uint64]entry.Hash) *model {
-	m := &model{known: map[uint64]bool{}, hashes: hashes, done: map[step]after{}, states: map[entry.Hash]*entry.State{first.Hash: first}}
+func newModel(first *logentry.State, ops []*op, hashes map[uint64]logentry.Hash) *model {
+	m := &model{known: map[uint64]bool{}, hashes: hashes, done: map[step]after{}, states: map[logentry.Hash]*logentry.State{first.Hash: first}}
 	for _, o := range ops {
 		if o.end == decided && o.out.Index > 0 {
 			m.known[o.out.Index] = true
@@ -58,7 +58,7 @@
 }
 
 // apply is what an entry makes of a state.
-func (m *model) apply(s *entry.State, o *op) after {
+func (m *model) apply(s *logentry.State, o *op) after {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := step{s.Hash, o}
@@ -72,7 +72,7 @@
 
 // step tells whether an operation can come at a place, and the place after it. A nil
 // operation is the end, where last is what all members hold.
-func (m *model) step(at place, o *op, last entry.Hash) (bool, place) {
+func (m *model) step(at place, o *op, last logentry.Hash) (bool, place) {
 	if o == nil {
 		return at.Hash == last, place{at.State, true}
 	}
@@ -93,7 +93,7 @@
 }
 
 // check searches for an order, for so long at most. Last is what all members hold at the end.
-func (m *model) check(first *entry.State, ops []*op, last entry.Hash, most time.Duration) porcupine.CheckResult {
+func (m *model) check(first *logentry.State, ops []*op, last logentry.Hash, most time.Duration) porcupine.CheckResult {
 	var end int64
 	var all []porcupine.Operation
 	for _, o := range ops {
--- a/internal/rig/accounts/propose.go
+++ b/internal/scenario/accounts/propose.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // What is known of a proposal's end.
@@ -23,14 +23,14 @@
 
 // op is a proposal as its author saw it.
 type op struct {
-	entry     entry.Entry
+	entry     logentry.Entry
 	raw       []byte // the entry as its agent hands it on
 	what      string
 	never     string // the rule that is broken if it is taken; empty where it may be
 	to        string
 	call, ret time.Time
 	end       int
-	out       entry.Outcome
+	out       logentry.Outcome
 	why       string // it is not decided
 }
 
@@ -62,13 +62,13 @@
 	if err != nil {
 		return &op{end: absent, why: err.Error()}
 	}
-	e := entry.Entry{Kind: entry.Accounts, At: time.Now().UnixMilli(), Why: what, Key: k.name(), Body: body}
+	e := logentry.Entry{Kind: logentry.Accounts, At: time.Now().UnixMilli(), Why: what, Key: k.name(), Body: body}
 	e.Sig = ed25519.Sign(ed25519.PrivateKey(k), e.Signed())
 	return s.bring(e, to, what, never)
 }
 
 // bring proposes an entry that is signed.
-func (s *scene) bring(e entry.Entry, to, what, never string) *op {
+func (s *scene) bring(e logentry.Entry, to, what, never string) *op {
 	e.By = to
 	raw, err := json.Marshal(&e)
 	if err != nil {
@@ -78,12 +78,12 @@
 	s.room[to] <- struct{}{} // as many as the agent has room for, beside the watchers
 	o.call = time.Now()
 	var answer struct {
-		Outcome entry.Outcome `json:"outcome"`
+		Outcome logentry.Outcome `json:"outcome"`
 	}
-	err = s.Agents[to].Ask(link.Ask{Ask: "propose", Entry: raw}, &answer)
+	err = s.Agents[to].Ask(agentapi.Ask{Ask: "propose", Entry: raw}, &answer)
 	o.ret = time.Now()
 	<-s.room[to]
-	var no *link.Refusal
+	var no *agentapi.Refusal
 	var dial *net.OpError
 	switch {
 	case err == nil:
--- a/internal/rig/accounts/tree.go
+++ b/internal/scenario/accounts/tree.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/standin"
 )
 
 // key signs changes.
@@ -119,7 +119,7 @@
 			s.watch.await(ctx, to, o.out.Index)
 			return nil
 		}
-		if !standin.Sleep(ctx, looks) {
+		if !fake.Sleep(ctx, looks) {
 			return ctx.Err()
 		}
 	}
--- a/internal/rig/accounts/watch.go
+++ b/internal/scenario/accounts/watch.go
@@ -11,23 +11,23 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // look is an agent's answer to the ask "state", asked and answered at two times.
 type look struct {
 	asked, heard time.Time
-	link.State
+	agentapi.State
 }
 
 // sight is what a member holds at an index.
 type sight struct {
 	agent string
-	state *entry.State
+	state *logentry.State
 	sum   [sha256.Size]byte // of the answer
 	at    time.Time
 }
@@ -39,17 +39,17 @@
 
 	mu     sync.Mutex
 	looks  map[string][]look // by agent, in order
-	last   map[string]*entry.State
+	last   map[string]*logentry.State
 	up     map[string]bool     // it answered when it was last asked
 	sights map[uint64][]*sight // by index, of different sums only
 }
 
-func newWatchers(agents map[string]*world.Agent) *watchers {
+func newWatchers(agents map[string]*testbed.Agent) *watchers {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watchers{cancel: cancel, looks: map[string][]look{}, last: map[string]*entry.State{}, up: map[string]bool{}, sights: map[uint64][]*sight{}}
+	w := &watchers{cancel: cancel, looks: map[string][]look{}, last: map[string]*logentry.State{}, up: map[string]bool{}, sights: map[uint64][]*sight{}}
 	for name, a := range agents {
 		w.wg.Go(func() {
-			for w.look(name, a); standin.Sleep(ctx, looks); {
+			for w.look(name, a); fake.Sleep(ctx, looks); {
 				w.look(name, a)
 			}
 		})
@@ -63,9 +63,9 @@
 }
 
 // look asks one agent how it stands, and what it holds where that is news.
-func (w *watchers) look(name string, a *world.Agent) {
+func (w *watchers) look(name string, a *testbed.Agent) {
 	l := look{asked: time.Now()}
-	err := a.Ask(link.Ask{Ask: "state"}, &l.State)
+	err := a.Ask(agentapi.Ask{Ask: "state"}, &l.State)
 	l.heard = time.Now()
 	w.mu.Lock()
 	w.up[name] = err == nil
@@ -78,8 +78,8 @@
 		return
 	}
 	var raw json.RawMessage
-	state := &entry.State{}
-	if a.Ask(link.Ask{Ask: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
+	state := &logentry.State{}
+	if a.Ask(agentapi.Ask{Ask: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
 		return // it has just gone
 	}
 	s := &sight{name, state, sha256.Sum256(raw), time.Now()}
@@ -113,7 +113,7 @@
 
 // await waits until an agent is seen to hold an entry.
 func (w *watchers) await(ctx context.Context, name string, index uint64) bool {
-	return world.WhenIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
+	return testbed.WhenIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
 }
 
 // leader is who leads the record and says so itself; empty for nobody.
--- a/internal/rig/accounts/writer.go
+++ b/internal/scenario/accounts/writer.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fleet/logentry"
 )
 
 // The rules that a taken change may break by itself.
@@ -28,7 +28,7 @@
 	*team
 	scene *scene
 	rng   *rand.Rand
-	taken []entry.Entry // of its own, the last few
+	taken []logentry.Entry // of its own, the last few
 }
 
 // move is what a writer may do, and how often.
@@ -59,7 +59,7 @@
 			all += m.part
 		}
 	}
-	for standin.Sleep(ctx, time.Duration(w.rng.ExpFloat64()*float64(pause))) {
+	for fake.Sleep(ctx, time.Duration(w.rng.ExpFloat64()*float64(pause))) {
 		n := w.rng.IntN(all)
 		for _, m := range fit {
 			if n -= m.part; n < 0 {
--- a/internal/rig/demo.go
+++ b/internal/scenario/demo.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // DemoOptions size the demo.
@@ -22,10 +22,10 @@
 }
 
 // quiet hears what stand-ins tell, and counts it.
-type quiet struct{ *world.Result }
+type quiet struct{ *testbed.Result }
 
-func (q quiet) Opened(standin.Opened)   {}
-func (q quiet) Started(standin.Started) {}
+func (q quiet) Opened(fake.Opened)   {}
+func (q quiet) Started(fake.Started) {}
 func (q quiet) Answered(_, answer string, _ bool, _ time.Duration) {
 	q.Add(answer, 1)
 }
@@ -35,21 +35,21 @@
 // Demo shows a node at work: four feed servers, one of which drains half way.
 func Demo(ctx context.Context, o DemoOptions) error {
 	const servers, clients = 4, 60
-	dir, err := os.MkdirTemp("", "coralrig-")
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	seen := quiet{world.NewResult("demo", 1)}
-	feed, roster := standin.NewFeed(10, 10, 1), standin.NewRoster()
+	seen := quiet{testbed.NewResult("demo", 1)}
+	feed, roster := fake.NewFeed(10, 10, 1), fake.NewRoster()
 	defer roster.Close()
 	discovery, err := roster.Listen("n0")
 	if err != nil {
 		return err
 	}
-	var list []*standin.Server
+	var list []*fake.Server
 	for i := range servers {
-		v := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: feed, Witness: seen,
+		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: feed, Witness: seen,
 			History: 100, Capacity: 2 * clients / servers})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
@@ -57,36 +57,36 @@
 		}
 		defer v.Kill()
 		list = append(list, v)
-		roster.Set(v.Name, standin.Active, time.Time{}, addrs)
+		roster.Set(v.Name, fake.Active, time.Time{}, addrs)
 	}
-	n, err := world.NewNode(world.NodeOptions{Binary: o.Binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery, Nodes: 1})
+	n, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery, Nodes: 1})
 	if err != nil {
 		return err
 	}
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	nodes := world.Nodes{n}
+	nodes := testbed.Nodes{n}
 	defer nodes.End()
 	running, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	for i := range clients {
-		c := &standin.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: world.Patience,
+		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: testbed.Patience,
 			Front: nodes, Diary: seen, Plain: true}
 		c.Seed(1, uint64(i))
 		wg.Go(func() {
-			standin.Sleep(running, time.Duration(i)*50*time.Millisecond) // they come one after another
+			fake.Sleep(running, time.Duration(i)*50*time.Millisecond) // they come one after another
 			c.Run(running)
 		})
 	}
 	fmt.Fprintf(o.Out, "One node, %d feed servers, %d clients. Each mark is a connection at that server.\n", servers, clients)
-	for second := 1; second <= o.Seconds && standin.Sleep(ctx, time.Second); second++ {
+	for second := 1; second <= o.Seconds && fake.Sleep(ctx, time.Second); second++ {
 		if second == o.Seconds/2 {
 			fmt.Fprintln(o.Out, "      s3 drains: the roster says so, and the node moves its clients")
 			list[3].Drain(0)
-			roster.Set("s3", standin.Leaving, time.Time{}, nil)
+			roster.Set("s3", fake.Leaving, time.Time{}, nil)
 		}
 		fmt.Fprintf(o.Out, "%3d s", second)
 		for _, v := range list {
--- a/internal/rig/fault/datagrams.go
+++ b/internal/scenario/faultproxy/datagrams.go
@@ -1,4 +1,4 @@
-package fault
+package faultproxy
 
 import (
 	"net"
--- a/internal/rig/fault/fault.go
+++ b/internal/scenario/faultproxy/fault.go
@@ -3,7 +3,7 @@
 // address of its own and advertises the relay's address for it; who speaks is known by the
 // loopback address that he speaks from, so that parties need one each. A speaker without
 // such an address is known by the listener that only he is told of.
-package fault
+package faultproxy
 
 import (
 	"context"
--- a/internal/rig/fleet.go
+++ b/internal/scenario/fleet.go
@@ -1,6 +1,6 @@
 // Package rig plays scenes: real nodes and stand-ins on loopback, a seeded script
 // with faults, and checks of the rules from the stand-ins' side.
-package rig
+package scenario
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // FleetOptions size the scene of what nodes share.
@@ -51,35 +51,35 @@
 // fleetScene is one run.
 type fleetScene struct {
 	FleetOptions
-	*world.World
+	*testbed.World
 }
 
 // Fleet plays the scene: nodes with agents that gossip through a relay with faults, while
 // a cold server comes in a wave and a third of the nodes is cut off, servers fail, and
 // false members speak.
-func Fleet(ctx context.Context, o FleetOptions) (*world.Result, error) {
+func Fleet(ctx context.Context, o FleetOptions) (*testbed.Result, error) {
 	if _, ok := FleetSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
 	}
-	w := world.Options{Scene: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, Alone: o.Alone, Binary: o.Binary,
+	w := testbed.Options{Scene: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, Alone: o.Alone, Binary: o.Binary,
 		Sabotage: o.Sabotage, Progress: o.Progress, Ramp: fleetRamp, Window: fleetWindow, Hold: fleetHold, Retries: fleetRetries}
 	if o.Sabotage != "" {
-		dir, err := os.MkdirTemp("", "coralrig-")
+		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
 		program := &w.Agent
-		name := "coralfleet"
+		name := "coralagent"
 		if o.Sabotage == "deaf" {
 			program, name = &w.Binary, "coralrelay"
-			w.Agent = world.Beside(o.Binary, "coralfleet")
+			w.Agent = testbed.Beside(o.Binary, "coralagent")
 		}
-		if *program, err = world.Sabotaged(ctx, dir, name); err != nil {
+		if *program, err = testbed.Sabotaged(ctx, dir, name); err != nil {
 			return nil, err
 		}
 	}
-	built, err := world.New(ctx, w)
+	built, err := testbed.New(ctx, w)
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +87,7 @@
 	s := &fleetScene{o, built}
 	s.Scaled = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		o.Nodes, fleetRamp, cutFor)
-	steps := []world.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "fall", Do: s.fall}, {Name: "lies", Do: s.lies},
+	steps := []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "fall", Do: s.fall}, {Name: "lies", Do: s.lies},
 		{Name: "bad", Do: s.bad}, {Name: "full", Do: s.full}}
 	if err := s.Play(ctx, steps, o.Steps); err != nil {
 		return nil, err
@@ -98,9 +98,9 @@
 
 // meet lets members find each other, and nodes learn the usual rate.
 func (s *fleetScene) meet(ctx context.Context, _ *mrand.Rand) error {
-	standin.Sleep(ctx, 5*time.Second)
+	fake.Sleep(ctx, 5*time.Second)
 	from, since := s.said(), time.Now()
-	standin.Sleep(ctx, 3*time.Second)
+	fake.Sleep(ctx, 3*time.Second)
 	s.Set("gossip_bytes_per_node_per_s", float64(s.said()-from)/float64(len(s.Names))/time.Since(since).Seconds())
 	if !s.FleetOptions.Alone {
 		s.Least("gossip_bytes_per_node_per_s", 100)
@@ -119,12 +119,12 @@
 // full has half of the servers turn every first line away, while their probes look well.
 func (s *fleetScene) full(ctx context.Context, _ *mrand.Rand) error {
 	for _, v := range s.All()[:s.FleetOptions.Servers/2] {
-		v.Spoil(standin.Full)
+		v.Spoil(fake.Full)
 	}
-	standin.Sleep(ctx, 8*time.Second)
+	fake.Sleep(ctx, 8*time.Second)
 	for _, v := range s.All()[:s.FleetOptions.Servers/2] {
-		v.Spoil(standin.Sound)
+		v.Spoil(fake.Sound)
 	}
-	standin.Sleep(ctx, time.Second)
+	fake.Sleep(ctx, time.Second)
 	return nil
 }
--- a/internal/rig/fleet_bad.go
+++ b/internal/scenario/fleet_bad.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	mrand "math/rand/v2"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // bad has a server answer every first line with an error, while its probes look well, and
@@ -16,15 +16,15 @@
 	// share is taken over a second.
 	const within = 5 * time.Second
 	servers := s.All()
-	servers[3].Spoil(standin.Errors)
+	servers[3].Spoil(fake.Errors)
 	from := time.Now()
 	shunned := time.Duration(-1)
-	for time.Since(from) < 8*time.Second && shunned < 0 && standin.Sleep(ctx, 250*time.Millisecond) {
+	for time.Since(from) < 8*time.Second && shunned < 0 && fake.Sleep(ctx, 250*time.Millisecond) {
 		if now := time.Now(); now.Sub(from) > time.Second && s.Shares(now.Add(-time.Second), now)["s3"] < 0.35 {
 			shunned = now.Sub(from)
 		}
 	}
-	servers[3].Spoil(standin.Sound)
+	servers[3].Spoil(fake.Sound)
 	if shunned < 0 {
 		shunned = 8 * time.Second
 	}
@@ -32,32 +32,32 @@
 	if !s.FleetOptions.Alone && shunned > within {
 		s.Broken("verdict", fmt.Sprintf("a server that fails was not shunned within %v", within))
 	}
-	standin.Sleep(ctx, 7*time.Second) // accusations are forgotten
+	fake.Sleep(ctx, 7*time.Second) // accusations are forgotten
 	from = time.Now()
-	standin.Sleep(ctx, 3*time.Second)
+	fake.Sleep(ctx, 3*time.Second)
 	back := s.Shares(from, time.Now())["s3"]
 	s.Set("recovered_share", back)
 	if back < 0.5 {
 		s.Broken("verdict", fmt.Sprintf("a server that works again gets %.2f of its share", back))
 	}
 	before := servers[4].Probes()
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	usual := float64(servers[4].Probes() - before)
-	servers[4].Spoil(standin.Silent)
+	servers[4].Spoil(fake.Silent)
 	const look = 500 * time.Millisecond
 	after := 7 * look // more than is looked for: not seen
 	for i := range 6 {
 		before = servers[4].Probes()
-		standin.Sleep(ctx, look)
+		fake.Sleep(ctx, look)
 		if asked := float64(servers[4].Probes() - before); after > 6*look && asked <= usual/4/3 { // a third of what it was in this time
 			after = time.Duration(i+1) * look
 		}
 	}
 	s.Set("silent_shunned_after_ms", float64(after.Milliseconds()))
 	before = servers[4].Probes()
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	s.Set("silent_probes_of_usual", float64(servers[4].Probes()-before)/max(usual, 1))
-	servers[4].Spoil(standin.Sound)
-	standin.Sleep(ctx, 3*time.Second)
+	servers[4].Spoil(fake.Sound)
+	fake.Sleep(ctx, 3*time.Second)
 	return nil
 }
--- a/internal/rig/fleet_cold.go
+++ b/internal/scenario/fleet_cold.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -6,9 +6,9 @@
 	mrand "math/rand/v2"
 	"time"
 
-	"coralrelay/internal/rig/fault"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/scenario/faultproxy"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // cold starts a server in a wave of returning transactions, with gossip that is late and
@@ -23,27 +23,27 @@
 			rest = append(rest, s.Names[n])
 		}
 	}
-	s.Relay.Between(s.Names, s.Names, fault.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Twice: 0.05})
+	s.Relay.Between(s.Names, s.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Twice: 0.05})
 	s.Pace(wave)
 	started, err := s.Join("cold", "a", true)
 	if err != nil {
 		return err
 	}
-	standin.Sleep(ctx, 1500*time.Millisecond+time.Duration(rng.IntN(1000))*time.Millisecond)
-	s.Relay.Between(cut, rest, fault.Fault{Cut: true})
-	standin.Sleep(ctx, cutFor)
+	fake.Sleep(ctx, 1500*time.Millisecond+time.Duration(rng.IntN(1000))*time.Millisecond)
+	s.Relay.Between(cut, rest, faultproxy.Fault{Cut: true})
+	fake.Sleep(ctx, cutFor)
 	s.Relay.Heal()
 	s.Pace(1)
-	standin.Sleep(ctx, time.Second)
+	fake.Sleep(ctx, time.Second)
 	most, _ := s.Against("cold", started, time.Now())
 	dealt := s.Dealt("cold", started)
 	s.Set("cold_epoch_of_deal", dealt)
-	if !s.FleetOptions.Alone && dealt > world.Chance {
+	if !s.FleetOptions.Alone && dealt > testbed.Chance {
 		s.Broken("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", dealt))
 	}
 	s.Leave("cold")
 	s.Set("cold_most_of_budget", most)
-	if !s.FleetOptions.Alone && most > world.Chance {
+	if !s.FleetOptions.Alone && most > testbed.Chance {
 		s.Broken("cold", fmt.Sprintf("a cold server was sent %.2f times its budget within %v", most, fleetWindow))
 	}
 	s.Least("cold_most_of_budget", 0.2) // else nobody tried
@@ -58,19 +58,19 @@
 		s.Fell(s.Names[i])
 	}
 	// Failed is known some seconds later, and then the hold begins.
-	standin.Sleep(ctx, 8*time.Second+fleetHold)
+	fake.Sleep(ctx, 8*time.Second+fleetHold)
 	s.Pace(wave)
 	started, err := s.Join("late", "a", true)
 	if err != nil {
 		return err
 	}
-	standin.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond world.Chance
+	fake.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond world.Chance
 	s.Pace(1)
 	most, mean := s.Against("late", started, time.Now())
 	s.Leave("late")
 	s.Set("late_most_of_budget", most)
 	s.Set("late_mean_of_budget", mean)
-	if !s.FleetOptions.Alone && most > world.Chance {
+	if !s.FleetOptions.Alone && most > testbed.Chance {
 		s.Broken("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", most, fleetWindow))
 	}
 	if !s.FleetOptions.Alone && mean < leastUse {
@@ -81,6 +81,6 @@
 			return err
 		}
 	}
-	standin.Sleep(ctx, 4*time.Second)
+	fake.Sleep(ctx, 4*time.Second)
 	return nil
 }
--- a/internal/rig/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/fleet/member"
-	"coralrelay/internal/fleet/share"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/quota"
 )
 
 // lies has one member with the key accuse sound servers, and strangers without it.
@@ -30,15 +30,15 @@
 		if err != nil {
 			return err
 		}
-		a := member.NewAgent(name, share.Config{Epoch: fleetWindow, Hold: fleetHold, Fresh: 3 * time.Second, Shun: 0.25}, share.Guards{},
+		a := gossip.NewAgent(name, quota.Config{Epoch: fleetWindow, Hold: fleetHold, Fresh: 3 * time.Second, Shun: 0.25}, quota.Guards{},
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
-			_ = a.Run(ctx, member.Gossip{Bind: bind, Advertise: advertise, Peers: s.Peers(), Key: s.Key, Open: open,
+			_ = a.Run(ctx, gossip.Gossip{Bind: bind, Advertise: advertise, Peers: s.Peers(), Key: s.Key, Open: open,
 				Interval: 100 * time.Millisecond, Log: io.Discard})
 		})
 		wg.Go(func() {
-			for standin.Sleep(ctx, 100*time.Millisecond) {
+			for fake.Sleep(ctx, 100*time.Millisecond) {
 				var sp balance.Spending
 				for _, id := range accused {
 					sp.Servers = append(sp.Servers, balance.Spent{ID: id, Asked: 50, Failed: 50})
@@ -57,9 +57,9 @@
 			return err
 		}
 	}
-	standin.Sleep(ctx, 4*time.Second)
+	fake.Sleep(ctx, 4*time.Second)
 	from := time.Now()
-	standin.Sleep(ctx, 4*time.Second)
+	fake.Sleep(ctx, 4*time.Second)
 	share := s.Shares(from, time.Now())
 	least := math.Inf(1)
 	for _, id := range accused {
--- a/internal/rig/flood.go
+++ b/internal/scenario/flood.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/operatorconfig"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // flood has steady flows send: by themselves, beside a flood of flows of one datagram
 // from made-up sources, and beside one source that opens flow after flow.
-func (s *udpScene) flood(ctx context.Context, o operator.UDP) {
+func (s *udpScene) flood(ctx context.Context, o operatorconfig.UDP) {
 	steady, every := s.Steady, steadyEvery
 	if steady > many {
 		every *= 2
@@ -36,25 +36,25 @@
 	defer cancel()
 	for i := range steady {
 		wg.Go(func() {
-			if !standin.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(steady)) {
+			if !fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(steady)) {
 				return
 			}
-			standin.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), every, &sent, &came)
+			fake.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), every, &sent, &came)
 		})
 	}
 	share := func(part string) float64 {
 		s0, c0 := sent.Load(), came.Load()
-		standin.Sleep(ctx, phase)
+		fake.Sleep(ctx, phase)
 		x := float64(came.Load()-c0) / max(1, float64(sent.Load()-s0))
 		s.Set("steady answered "+part, x)
 		return x
 	}
-	standin.Sleep(ctx, arrivals+2*o.After.Duration+time.Second)
+	fake.Sleep(ctx, arrivals+2*o.After.Duration+time.Second)
 	alone := share("alone")
 	spoofing, stop := context.WithCancel(ctx)
 	for i := range flooders {
 		wg.Go(func() {
-			n := standin.Flood(spoofing, o.Listen, "spoofed", uint32(1<<22+i<<20), true)
+			n := fake.Flood(spoofing, o.Listen, "spoofed", uint32(1<<22+i<<20), true)
 			s.Add("flood sent", float64(n))
 		})
 	}
@@ -63,7 +63,7 @@
 	loud, hush := context.WithCancel(ctx)
 	begun := time.Now()
 	wg.Go(func() {
-		n := standin.Flood(loud, o.Listen, "loud", 1<<22-1, false)
+		n := fake.Flood(loud, o.Listen, "loud", 1<<22-1, false)
 		s.Add("one source's sent", float64(n))
 	})
 	share("beside one source")
@@ -73,7 +73,7 @@
 	if beside < 0.99*alone {
 		s.Broken("flood", fmt.Sprintf("steady flows: %.4f answered beside the flood, %.4f without", beside, alone))
 	}
-	standin.Sleep(ctx, 500*time.Millisecond)
+	fake.Sleep(ctx, 500*time.Millisecond)
 	// Two slots for each source, and what was in them at first.
 	if most := 2 * (o.Sources.Rate*took + o.Sources.Burst); s.Get("one source's flows that went on") > most {
 		s.Broken("source", fmt.Sprintf("%g flows of one source went on, %g are allowed", s.Get("one source's flows that went on"), most))
--- a/internal/rig/promises.go
+++ b/internal/scenario/promises.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/fault"
-	"coralrelay/internal/rig/world"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/faultproxy"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // PromisesOptions size the scene of contracts on response times.
@@ -47,7 +47,7 @@
 // promisesScene is one run.
 type promisesScene struct {
 	PromisesOptions
-	*world.World
+	*testbed.World
 	name   string // of the run, empty for the one that is checked
 	root   ed25519.PrivateKey
 	quick  string // the zone that is slow first,
@@ -65,15 +65,15 @@
 
 // Promises plays the scene: regions become slow, are small, are left and return, while
 // contracts that can and cannot be kept are steered by the record.
-func Promises(ctx context.Context, o PromisesOptions) (*world.Result, error) {
-	dir, err := os.MkdirTemp("", "coralrig-")
+func Promises(ctx context.Context, o PromisesOptions) (*testbed.Result, error) {
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	sabotaged := ""
 	if o.Sabotage != "" || !o.Alone {
-		if sabotaged, err = world.Sabotaged(ctx, dir, "coralfleet"); err != nil {
+		if sabotaged, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := world.Options{Scene: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
+	w := testbed.Options{Scene: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
 		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Sabotage: sabotage,
 		Ramp: promisesRamp, Window: promisesWindow, Hold: 3 * time.Second, Retries: 0.3}
 	if name == "" {
@@ -121,16 +121,16 @@
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operator.File) {
+	w.Own = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
 		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(promisesRamp)
-		z.Cold, z.Bears = world.ColdFrom, o.Rate/float64(o.Servers)/world.UsualLoad
+		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(public)
 		p := &f.Fleet.Promises
 		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, pace, stepAtMost, 0.15, in(45*time.Second)
 	}
-	built, err := world.New(ctx, w)
+	built, err := testbed.New(ctx, w)
 	if err != nil {
 		return nil, err
 	}
@@ -148,7 +148,7 @@
 	for _, v := range built.All() {
 		servers = append(servers, v.Name)
 	}
-	built.Relay.OneWay(built.Names, servers, fault.Fault{Delay: time.Millisecond, Drop: lost})
+	built.Relay.OneWay(built.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: lost})
 	ctx, cancel := context.WithCancel(ctx)
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -162,7 +162,7 @@
 	return s, err
 }
 
-func in(d time.Duration) operator.Duration { return operator.Duration{Duration: d} }
+func in(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
 
 // Regions' response times, and how much longer they are where a region is over full.
 const (
@@ -213,6 +213,6 @@
 
 // loadOf is what a zone's servers were asked, over what they bear warm.
 func (s *promisesScene) loadOf(zone string, from, until time.Time) float64 {
-	bears := float64(len(s.Of(zone))) * s.World.Rate / float64(s.PromisesOptions.Servers) / world.UsualLoad
+	bears := float64(len(s.Of(zone))) * s.World.Rate / float64(s.PromisesOptions.Servers) / testbed.UsualLoad
 	return float64(len(s.Into(zone, from, until))) / until.Sub(from).Seconds() / bears
 }
--- a/internal/rig/promises_contracts.go
+++ b/internal/scenario/promises_contracts.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"crypto/ed25519"
@@ -7,14 +7,14 @@
 	"time"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/promise"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/slo"
 )
 
 // tenant is who has a contract: his realm has its name.
 type tenant struct {
-	promise.Contract
+	slo.Contract
 	part float64 // of all transactions
 }
 
@@ -25,7 +25,7 @@
 // transactions, and one is promised what no region can keep.
 func (s *promisesScene) tenants() []tenant {
 	of := func(name string, priority int, part, share float64, bound time.Duration, zones ...string) tenant {
-		return tenant{promise.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Bound: bound, Window: 10 * time.Second,
+		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Bound: bound, Window: 10 * time.Second,
 			Share: share, Priority: priority, Zones: zones}, part}
 	}
 	return []tenant{of("gold", 0, 0.22, 0.8, within), of("rigid", 1, 0.38, 0.8, within, s.quick, s.small), of("silver", 1, 0.13, 0.8, within),
@@ -36,31 +36,31 @@
 func (s *promisesScene) agree() error {
 	none := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1, Routes: -1, Teams: -1}
 	accounts := account.Change{Ops: []account.Op{{Do: account.Found, Path: "acme", Node: &account.Node{Limits: none}}}}
-	var contracts promise.Change
+	var contracts slo.Change
 	for _, t := range s.tenants() {
 		accounts.Ops = append(accounts.Ops, account.Op{Do: account.PutRoute, Path: "acme", Route: &account.Route{Name: t.Name,
 			Match: account.Match{Tenant: t.Name}, Limits: none, Contract: t.Name}})
 		contracts.Set = append(contracts.Set, t.Contract)
 	}
-	if err := s.sign(entry.Accounts, accounts); err != nil {
+	if err := s.sign(logentry.Accounts, accounts); err != nil {
 		return err
 	}
-	return s.sign(entry.Contracts, contracts)
+	return s.sign(logentry.Contracts, contracts)
 }
 
-func (s *promisesScene) sign(kind entry.Kind, change any) error {
+func (s *promisesScene) sign(kind logentry.Kind, change any) error {
 	body, err := json.Marshal(change)
 	if err != nil {
 		return err
 	}
-	e := entry.Entry{Kind: kind, At: time.Now().UnixMilli(), Why: "the scene", Body: body, Key: account.KeyName(s.root.Public().(ed25519.PublicKey))}
+	e := logentry.Entry{Kind: kind, At: time.Now().UnixMilli(), Why: "the scene", Body: body, Key: account.KeyName(s.root.Public().(ed25519.PublicKey))}
 	e.Sig = ed25519.Sign(s.root, e.Signed())
 	raw, err := json.Marshal(e)
 	if err != nil {
 		return err
 	}
-	var answer struct{ Outcome entry.Outcome }
-	if err := s.Agents[s.Names[0]].Ask(link.Ask{Ask: "propose", Entry: raw}, &answer); err != nil {
+	var answer struct{ Outcome logentry.Outcome }
+	if err := s.Agents[s.Names[0]].Ask(agentapi.Ask{Ask: "propose", Entry: raw}, &answer); err != nil {
 		return err
 	}
 	if !answer.Outcome.Taken {
--- a/internal/rig/promises_figures.go
+++ b/internal/scenario/promises_figures.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/rig/world"
+	"coralrelay/internal/scenario/testbed"
 )
 
 func (s *promisesScene) figure(name string) string {
@@ -32,7 +32,7 @@
 	if from.IsZero() {
 		return
 	}
-	until = until.Add(-world.Patience)
+	until = until.Add(-testbed.Patience)
 	kept := map[int][]float64{}
 	for _, t := range s.tenants() {
 		share, n := s.kept(t, from, until)
--- a/internal/rig/promises_seen.go
+++ b/internal/scenario/promises_seen.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"bufio"
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/entry"
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/fleet/promise"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/slo"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // reply is a final answer as a tenant's client saw it.
@@ -28,7 +28,7 @@
 
 // steered is that the record has another allocation of a contract.
 type steered struct {
-	promise.Allocation
+	slo.Allocation
 	moved float64            // of the contract, against where it went before
 	left  map[string]float64 // of it, by region
 	at    time.Time
@@ -39,7 +39,7 @@
 	rng := mrand.New(mrand.NewPCG(s.PromisesOptions.Seed, 21))
 	tenants := s.tenants()
 	next := time.Now()
-	for id := 0; standin.Sleep(ctx, time.Until(next)); id++ {
+	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / s.World.Rate * float64(time.Second)))
 		at, x := 0, rng.Float64()
 		for at < len(tenants)-1 && x >= tenants[at].part {
@@ -60,8 +60,8 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	_ = conn.SetDeadline(begun.Add(world.Patience + 500*time.Millisecond))
-	fmt.Fprintf(conn, "OPEN %016x %s-%x c=feed,d=%d,realm=%s\r\n", 1<<40+id, tenant, id, world.Patience.Milliseconds(), tenant)
+	_ = conn.SetDeadline(begun.Add(testbed.Patience + 500*time.Millisecond))
+	fmt.Fprintf(conn, "OPEN %016x %s-%x c=feed,d=%d,realm=%s\r\n", 1<<40+id, tenant, id, testbed.Patience.Milliseconds(), tenant)
 	text, err := bufio.NewReader(conn).ReadString('\n')
 	took := time.Since(begun)
 	if ctx.Err() != nil {
@@ -77,16 +77,16 @@
 	s.mu.Unlock()
 	s.Add("tenants_"+strings.ToLower(word), 1)
 	if word == "UP" {
-		standin.Sleep(ctx, 2*time.Second) // so long that one is little of a server's load
+		fake.Sleep(ctx, 2*time.Second) // so long that one is little of a server's load
 	}
 }
 
 // watchRecord notes each change of an allocation.
 func (s *promisesScene) watchRecord(ctx context.Context) {
-	last, steps := map[string]promise.Allocation{}, uint64(0)
-	for at := 0; standin.Sleep(ctx, 100*time.Millisecond); at++ {
-		var state entry.State
-		if err := s.Agents[s.Names[at%len(s.Names)]].Ask(link.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
+	last, steps := map[string]slo.Allocation{}, uint64(0)
+	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
+		var state logentry.State
+		if err := s.Agents[s.Names[at%len(s.Names)]].Ask(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
 			continue // an agent that is behind, or has not met anybody
 		}
 		steps = state.Contracts.Steps
@@ -198,7 +198,7 @@
 	for _, t := range s.tenants() {
 		now[t.Name] = t.part * s.even(t)[zone]
 	}
-	bears := float64(len(s.Of(zone))) / float64(s.PromisesOptions.Servers) / world.UsualLoad
+	bears := float64(len(s.Of(zone))) / float64(s.PromisesOptions.Servers) / testbed.UsualLoad
 	for _, x := range s.moves(time.Time{}, until) {
 		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Over, 0)
 		sum := 0.0
--- a/internal/rig/promises_steps.go
+++ b/internal/scenario/promises_steps.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // What the scene holds the fleet to.
@@ -26,23 +26,23 @@
 )
 
 // script is what happens. Its first step is played in any case.
-func (s *promisesScene) script(ctx context.Context, all *sync.WaitGroup) (steps []world.Step) {
+func (s *promisesScene) script(ctx context.Context, all *sync.WaitGroup) (steps []testbed.Step) {
 	meet := func(context.Context, *mrand.Rand) error {
 		all.Go(func() { s.clients(ctx, all) })
-		if _, met := world.Await(ctx, 30*time.Second, s.met); !met && ctx.Err() == nil {
+		if _, met := testbed.Await(ctx, 30*time.Second, s.met); !met && ctx.Err() == nil {
 			return fmt.Errorf("members did not meet")
 		}
 		if err := s.agree(); err != nil {
 			return err
 		}
-		standin.Sleep(ctx, 10*time.Second) // nodes learn what is usual
+		fake.Sleep(ctx, 10*time.Second) // nodes learn what is usual
 		return nil
 	}
 	for _, step := range []struct {
 		name string
 		do   func(context.Context) error
 	}{{"calm", s.calm}, {"slow", s.slower}, {"other", s.other}, {"left", s.left}} {
-		steps = append(steps, world.Step{Name: step.name, Do: func(ctx context.Context, _ *mrand.Rand) error {
+		steps = append(steps, testbed.Step{Name: step.name, Do: func(ctx context.Context, _ *mrand.Rand) error {
 			from := time.Now()
 			err := step.do(ctx)
 			s.mu.Lock()
@@ -51,15 +51,15 @@
 			return err
 		}})
 	}
-	return append([]world.Step{{Name: "meet", Do: meet}}, steps...)
+	return append([]testbed.Step{{Name: "meet", Do: meet}}, steps...)
 }
 
 // met tells whether all agents hear the record, at one index.
 func (s *promisesScene) met() bool {
 	index := uint64(0)
 	for i, name := range s.Names {
-		var state link.State
-		if err := s.Agents[name].Ask(link.Ask{Ask: "state"}, &state); err != nil || !state.Fresh || state.Leader == "" || i > 0 && state.Index != index {
+		var state agentapi.State
+		if err := s.Agents[name].Ask(agentapi.Ask{Ask: "state"}, &state); err != nil || !state.Fresh || state.Leader == "" || i > 0 && state.Index != index {
 			return false
 		}
 		index = state.Index
@@ -77,11 +77,11 @@
 // calm has all well but for one moment of slowness: nobody moves.
 func (s *promisesScene) calm(ctx context.Context) error {
 	from := time.Now()
-	standin.Sleep(ctx, 5*time.Second)
+	fake.Sleep(ctx, 5*time.Second)
 	s.slow(map[string]bool{s.quick: true})
-	standin.Sleep(ctx, 600*time.Millisecond)
+	fake.Sleep(ctx, 600*time.Millisecond)
 	s.slow(nil)
-	standin.Sleep(ctx, 6*time.Second)
+	fake.Sleep(ctx, 6*time.Second)
 	for _, x := range s.moves(from, time.Now()) {
 		if x.moved > 0.1 {
 			s.breaks("calm", "%s moved %.3f of itself though all was well but for a moment: %v", x.Contract, x.moved, x.Shares)
@@ -94,7 +94,7 @@
 func (s *promisesScene) slower(ctx context.Context) error {
 	from := time.Now()
 	s.slow(map[string]bool{s.quick: true})
-	standin.Sleep(ctx, 21*time.Second)
+	fake.Sleep(ctx, 21*time.Second)
 	s.bounded("slow", from)
 	s.holds("slow", s.tenant("gold"))
 	if why := s.why("dream"); !strings.HasPrefix(why, "bound: ") {
@@ -119,7 +119,7 @@
 func (s *promisesScene) other(ctx context.Context) error {
 	from := time.Now()
 	s.slow(map[string]bool{s.second: true})
-	standin.Sleep(ctx, 28*time.Second)
+	fake.Sleep(ctx, 28*time.Second)
 	s.bounded("other", from)
 	gold := s.tenant("gold")
 	s.holds("other", gold)
@@ -145,14 +145,14 @@
 // left has the small region fail: the fleet leaves it, contracts with it, and it returns.
 func (s *promisesScene) left(ctx context.Context) error {
 	s.slow(nil)
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	for _, v := range s.Of(s.small) {
-		v.Spoil(standin.Silent)
+		v.Spoil(fake.Silent)
 	}
 	begun := time.Now()
-	standin.Sleep(ctx, leaving)
+	fake.Sleep(ctx, leaving)
 	from := time.Now()
-	standin.Sleep(ctx, 2*time.Second)
+	fake.Sleep(ctx, 2*time.Second)
 	for _, l := range s.Into(s.small, from, time.Now()) {
 		s.breaks("left", "%s sent %s %v after the region failed", l.Node, l.Key, l.At.Sub(begun))
 	}
@@ -166,15 +166,15 @@
 		}
 	}
 	for _, v := range s.Of(s.small) {
-		v.Spoil(standin.Sound)
+		v.Spoil(fake.Sound)
 	}
 	back := time.Now()
-	_, came := world.Await(ctx, 20*time.Second, func() bool { return len(s.Into(s.small, back, time.Now())) > 0 })
+	_, came := testbed.Await(ctx, 20*time.Second, func() bool { return len(s.Into(s.small, back, time.Now())) > 0 })
 	s.Set(s.figure("return_ms"), float64(time.Since(back).Milliseconds()))
 	if !came && ctx.Err() == nil {
 		s.breaks("return", "nobody went to the region that returned within %v", time.Since(back))
 	}
-	standin.Sleep(ctx, 4*time.Second)
+	fake.Sleep(ctx, 4*time.Second)
 	s.load("left", back)
 	return nil
 }
--- a/internal/rig/resume.go
+++ b/internal/scenario/resume.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -12,11 +12,11 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/keyfile"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/resume"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/resumetoken"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // ResumeOptions size the scene of moves with resume tokens.
@@ -44,18 +44,18 @@
 // scene is one run.
 type scene struct {
 	ResumeOptions
-	*world.Result
+	*testbed.Result
 	rng     *rand.Rand
-	feed    *standin.Feed
-	roster  *standin.Roster
-	servers []*standin.Server
-	nodes   world.Nodes
-	clients []*standin.Client
+	feed    *fake.Feed
+	roster  *fake.Roster
+	servers []*fake.Server
+	nodes   testbed.Nodes
+	clients []*fake.Client
 	names   []string
 	keys    string
 
 	mu      sync.Mutex
-	ring    *resume.Ring
+	ring    *resumetoken.Ring
 	tokens  []shown                          // the latest, for those who present them again
 	owners  map[string]string                // by nonce likewise: the client that was given it
 	honored map[string]string                // by nonce in hexadecimal digits: where
@@ -73,15 +73,15 @@
 
 // Resume plays the scene: moves over drains, relief, restarts and kills, while
 // listings change, with tokens presented twice, stolen and forged.
-func Resume(ctx context.Context, o ResumeOptions) (*world.Result, error) {
-	r := world.NewResult("resume", o.Seed)
-	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: standin.NewRoster(),
-		feed:   standin.NewFeed(max(4, o.Clients/8), 30, o.Seed),
+func Resume(ctx context.Context, o ResumeOptions) (*testbed.Result, error) {
+	r := testbed.NewResult("resume", o.Seed)
+	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewRoster(),
+		feed:   fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
 		owners: map[string]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
 		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
 	r.Scaled = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
 		int(time.Second/changeEvery))
-	dir, err := os.MkdirTemp("", "coralrig-")
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
@@ -116,11 +116,11 @@
 func (s *scene) build(ctx context.Context, dir string) error {
 	binary, sabotage := s.Binary, ""
 	if _, ok := ResumeSabotages[s.Sabotage]; s.Sabotage != "" && !ok {
-		return fmt.Errorf("no sabotage %q", s.Sabotage)
+		return fmt.Errorf("no mutation %q", s.Sabotage)
 	}
 	if s.Sabotage != "" && s.Sabotage != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
 		var err error
-		if binary, err = world.Sabotaged(ctx, dir, "coralrelay"); err != nil {
+		if binary, err = testbed.Sabotaged(ctx, dir, "coralrelay"); err != nil {
 			return err
 		}
 		sabotage = s.Sabotage
@@ -136,14 +136,14 @@
 	for i := range s.Nodes {
 		name := fmt.Sprintf("n%d", i)
 		s.names = append(s.names, name)
-		addr, err := world.Reserve()
+		addr, err := testbed.Reserve()
 		if err != nil {
 			return err
 		}
 		peers[name] = addr
 	}
 	for i, name := range s.names {
-		own := operator.Default()
+		own := operatorconfig.Default()
 		own.Log.Level = "warn"
 		own.Resume.Enabled, own.Resume.Keys = true, s.keys
 		own.Resume.Ledger.Dir = filepath.Join(dir, name, "ledger")
@@ -152,7 +152,7 @@
 		if err != nil {
 			return err
 		}
-		n, err := world.NewNode(world.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
+		n, err := testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
 			Number: i, Nodes: s.Nodes, Sabotage: sabotage, Own: &own})
 		if err != nil {
 			return err
@@ -160,7 +160,7 @@
 		s.nodes = append(s.nodes, n)
 	}
 	for i := range s.Servers {
-		o := standin.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Witness: s, History: 200,
+		o := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Witness: s, History: 200,
 			Capacity: max(60, 3*s.Clients/s.Servers), IgnoreEpoch: s.Sabotage == "epoch"}
 		switch i % 3 {
 		case 1:
@@ -168,13 +168,13 @@
 		case 2:
 			o.History = 2 // it has trimmed what most positions would need
 		}
-		v := standin.NewServer(o)
+		v := fake.NewServer(o)
 		addrs, err := v.Start(s.names)
 		if err != nil {
 			return err
 		}
 		s.servers = append(s.servers, v)
-		s.roster.Set(o.Name, standin.Active, time.Time{}, addrs)
+		s.roster.Set(o.Name, fake.Active, time.Time{}, addrs)
 	}
 	for _, n := range s.nodes {
 		if err := n.Start(ctx); err != nil {
--- a/internal/rig/resume_abuse.go
+++ b/internal/scenario/resume_abuse.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // abuse presents tokens a second time, as another client, and spoiled.
@@ -17,7 +17,7 @@
 	rng := rand.New(rand.NewPCG(s.ResumeOptions.Seed, 99))
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for standin.Sleep(ctx, 80*time.Millisecond) {
+	for fake.Sleep(ctx, 80*time.Millisecond) {
 		s.mu.Lock()
 		n := len(s.tokens)
 		var t shown
@@ -47,7 +47,7 @@
 			t.token = spoil(own, t.token)
 			s.Add("spoiled", 1)
 		}
-		wg.Go(func() { standin.Present(ctx, s.nodes, own, t.key, t.group, "feed", t.token, world.Patience) })
+		wg.Go(func() { fake.Present(ctx, s.nodes, own, t.key, t.group, "feed", t.token, testbed.Patience) })
 	}
 }
 
@@ -69,7 +69,7 @@
 
 // watch compares what clients have with the truth of two seconds ago.
 func (s *scene) watch(ctx context.Context) {
-	for standin.Sleep(ctx, 200*time.Millisecond) {
+	for fake.Sleep(ctx, 200*time.Millisecond) {
 		for _, c := range s.clients {
 			before := time.Now().Add(-freshness)
 			versions, since := c.Versions()
@@ -81,7 +81,7 @@
 	}
 }
 
-func (s *scene) compare(c *standin.Client, versions map[int]uint64, at time.Time) {
+func (s *scene) compare(c *fake.Client, versions map[int]uint64, at time.Time) {
 	s.Add("comparisons", 1)
 	for l, v := range s.feed.State(c.Group, s.feed.Head(c.Group, at)) {
 		if versions[l] < v {
@@ -106,7 +106,7 @@
 }
 
 func (s *scene) report(ctx context.Context) {
-	for n := 1; standin.Sleep(ctx, time.Second); n++ {
+	for n := 1; fake.Sleep(ctx, time.Second); n++ {
 		if s.Progress != nil {
 			fmt.Fprintf(s.Progress, "\r%3d s  %5.0f moves  %5.0f resumed  %5.0f snapshots  %3.0f drains  %2.0f restarts  %2.0f nodes killed ",
 				n, s.Get("moves"), s.Get("resumed"), s.Get("snapshots"), s.Get("drains"), s.Get("planned restarts"), s.Get("nodes killed"))
--- a/internal/rig/resume_faults.go
+++ b/internal/scenario/resume_faults.go
@@ -1,11 +1,11 @@
-package rig
+package scenario
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // fault makes one fault happen and, in time, heal.
@@ -50,7 +50,7 @@
 			s.Add("overloads", 1)
 			wg.Go(func() {
 				server.Report(1.3)
-				standin.Sleep(ctx, 1500*time.Millisecond)
+				fake.Sleep(ctx, 1500*time.Millisecond)
 				server.Report(0)
 			})
 		}
@@ -75,9 +75,9 @@
 			wg.Go(func() { s.drain(ctx, server, 0) })
 			wait := 100*time.Millisecond + time.Duration(s.rng.IntN(1400))*time.Millisecond
 			wg.Go(func() {
-				standin.Sleep(ctx, wait)
+				fake.Sleep(ctx, wait)
 				node.Kill()
-				standin.Sleep(ctx, 300*time.Millisecond)
+				fake.Sleep(ctx, 300*time.Millisecond)
 				if err := node.Start(ctx); err != nil && ctx.Err() == nil {
 					s.Broken("restart", err.Error())
 				}
@@ -88,12 +88,12 @@
 }
 
 // drain has a server drain, and come back later.
-func (s *scene) drain(ctx context.Context, v *standin.Server, away time.Duration) {
-	s.roster.Set(v.Name, standin.Leaving, time.Time{}, nil)
+func (s *scene) drain(ctx context.Context, v *fake.Server, away time.Duration) {
+	s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
 	if s.Sabotage != "drain" { // else it takes what it is wrongly sent, so that it is seen
 		v.Drain(away)
 	}
-	standin.Sleep(ctx, 2500*time.Millisecond)
+	fake.Sleep(ctx, 2500*time.Millisecond)
 	v.Undrain()
-	s.roster.Set(v.Name, standin.Active, time.Time{}, nil)
+	s.roster.Set(v.Name, fake.Active, time.Time{}, nil)
 }
--- a/internal/rig/resume_play.go
+++ b/internal/scenario/resume_play.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 	"syscall"
 	"time"
 
+	"coralrelay/internal/fake"
 	"coralrelay/internal/keyfile"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // play runs the script until there were enough moves, then lets all come to rest.
@@ -21,24 +21,24 @@
 	changes, still := context.WithCancel(ctx)
 	defer still()
 	wg.Go(func() {
-		for standin.Sleep(changes, changeEvery) {
+		for fake.Sleep(changes, changeEvery) {
 			s.feed.Step()
 		}
 	})
 	for i := range s.Clients {
-		c := &standin.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
-			Patience: world.Patience, Front: s.nodes, Diary: s, Twice: 0.1, Plain: i%25 == 24}
+		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
+			Patience: testbed.Patience, Front: s.nodes, Diary: s, Twice: 0.1, Plain: i%25 == 24}
 		c.Seed(s.ResumeOptions.Seed, uint64(i))
 		s.clients = append(s.clients, c)
 		wg.Go(func() {
-			standin.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(s.Clients))
+			fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(s.Clients))
 			c.Run(ctx)
 		})
 	}
 	wg.Go(func() { s.abuse(ctx) })
 	wg.Go(func() { s.watch(changes) })
 	wg.Go(func() { s.report(ctx) })
-	standin.Sleep(ctx, arrivals+time.Second)
+	fake.Sleep(ctx, arrivals+time.Second)
 	rotated := false
 	limit := time.Now().Add(time.Duration(s.Moves)*250*time.Millisecond + 30*time.Second)
 	for s.Get("moves") < float64(s.Moves) {
@@ -55,14 +55,14 @@
 		if err := s.fault(ctx, &wg); err != nil {
 			return err
 		}
-		if !standin.Sleep(ctx, time.Second) {
+		if !fake.Sleep(ctx, time.Second) {
 			return ctx.Err()
 		}
 	}
 	// The end: faults heal, changes stop, and all that was ever said has to arrive.
-	standin.Sleep(ctx, 4*time.Second)
+	fake.Sleep(ctx, 4*time.Second)
 	still()
-	standin.Sleep(ctx, freshness+world.OnSockets)
+	fake.Sleep(ctx, freshness+testbed.OnSockets)
 	s.settled()
 	cancel()
 	return nil
--- a/internal/rig/resume_seen.go
+++ b/internal/scenario/resume_seen.go
@@ -1,23 +1,23 @@
-package rig
+package scenario
 
 import (
 	"encoding/hex"
 	"fmt"
 	"time"
 
-	"coralrelay/internal/resume"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/resumetoken"
 )
 
 // ---- what the stand-ins tell ----
 
 // Opened holds first lines to the drain rule.
-func (s *scene) Opened(o standin.Opened) {
+func (s *scene) Opened(o fake.Opened) {
 	s.HoldDrain(s.roster, o.Node, o.Server, o.Key, o.At)
 }
 
 // Started holds streams to the rule of one use.
-func (s *scene) Started(v standin.Started) {
+func (s *scene) Started(v fake.Started) {
 	if v.Resumed {
 		s.Add("resumed", 1)
 		s.Add("bytes of resumptions", float64(v.Bytes))
@@ -63,7 +63,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, err := resume.Open(s.ring, token)
+	t, err := resumetoken.Open(s.ring, token)
 	if err != nil {
 		s.Broken("token", fmt.Sprintf("%s was given %q: %v", key, token, err))
 		return
--- a/internal/rig/speed.go
+++ b/internal/scenario/speed.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"coralrelay/internal/rig/world"
+	"coralrelay/internal/scenario/testbed"
 )
 
 const (
@@ -42,8 +42,8 @@
 // with a socket for each next hop and for each flow, in turn and several times, as the
 // machine's own pace changes. The loop has one processor, the node as many as it is given,
 // and all others are the rig's.
-func UDPSpeed(ctx context.Context, o UDPOptions) (*world.Result, error) {
-	r := world.NewResult("udp speed", o.Seed)
+func UDPSpeed(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
+	r := testbed.NewResult("udp speed", o.Seed)
 	r.Scaled = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
 	o.Cores = max(o.Cores, 1)
 	apart, restore := pinned(o.Cores)
@@ -51,7 +51,7 @@
 	if !apart {
 		r.Scaled += "; too few processors to keep one for the forwarder"
 	}
-	dir, err := os.MkdirTemp("", "coralrig-")
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rig/speed_ends.go
+++ b/internal/scenario/speed_ends.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
--- a/internal/rig/speed_rates.go
+++ b/internal/scenario/speed_rates.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -11,29 +11,29 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/net/ipv4"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // speedOf measures one way.
-func speedOf(ctx context.Context, r *world.Result, w way, o UDPOptions, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
+func speedOf(ctx context.Context, r *testbed.Result, w way, o UDPOptions, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	roster := standin.NewRoster()
+	roster := fake.NewRoster()
 	defer roster.Close()
-	server := standin.NewServer(standin.ServerOptions{Name: "s0", Feed: standin.NewFeed(1, 1, 1), Witness: quiet{r}, Capacity: 1_000_000})
+	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Witness: quiet{r}, Capacity: 1_000_000})
 	addrs, err := server.Start([]string{"n0"})
 	if err != nil {
 		return 0, nil, err
 	}
 	defer server.Kill()
-	roster.Set("s0", standin.Active, time.Time{}, addrs)
+	roster.Set("s0", fake.Active, time.Time{}, addrs)
 	in, err := newSink(ctx, addrs["n0"])
 	if err != nil {
 		return 0, nil, err
 	}
-	listen, err := world.Reserve()
+	listen, err := testbed.Reserve()
 	if err != nil {
 		return 0, nil, err
 	}
@@ -52,9 +52,9 @@
 		if err != nil {
 			return 0, nil, err
 		}
-		own := operator.Default()
+		own := operatorconfig.Default()
 		own.UDP.Listen, own.UDP.Mode, own.UDP.Proxy = listen, w.mode, w.proxy
-		node, err := world.NewNode(world.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own, Cores: o.Cores})
+		node, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own, Cores: o.Cores})
 		if err != nil {
 			return 0, nil, err
 		}
@@ -84,7 +84,7 @@
 	delay = in.listen(false)
 	came, begun := in.came.Load(), time.Now()
 	say(0)
-	standin.Sleep(ctx, 20*time.Millisecond)
+	fake.Sleep(ctx, 20*time.Millisecond)
 	return float64(in.came.Load()-came) / time.Since(begun).Seconds(), delay, ctx.Err()
 }
 
@@ -98,7 +98,7 @@
 				sent += max(n, 0)
 			}
 		}
-		if !standin.Sleep(ctx, 200*time.Millisecond) {
+		if !fake.Sleep(ctx, 200*time.Millisecond) {
 			return ctx.Err()
 		}
 		if sent == speedFlows && in.came.Load()-before >= speedFlows {
--- a/internal/rig/world/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"path/filepath"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/operatorconfig"
 )
 
 // Agent is a member: the process beside one node.
@@ -20,10 +20,10 @@
 }
 
 // Ask asks it as an operator does.
-func (a *Agent) Ask(ask, into any) error { return link.Call(a.Addr, ask, into) }
+func (a *Agent) Ask(ask, into any) error { return agentapi.Call(a.Addr, ask, into) }
 
 // agent returns the agent beside a node, which is not started yet.
-func (w *World) agent(n *Node, own *operator.File) *Agent {
+func (w *World) agent(n *Node, own *operatorconfig.File) *Agent {
 	p := &Proc{Name: "agent " + n.Name, Binary: w.Agent, Dir: n.Dir, Log: "agent.log",
 		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + w.Sabotage}}
 	if w.Clock != nil {
@@ -33,8 +33,8 @@
 }
 
 // member writes what one member's file says, and opens its ways through the relay.
-func (w *World) member(name string, number int) (operator.File, error) {
-	own := operator.Default()
+func (w *World) member(name string, number int) (operatorconfig.File, error) {
+	own := operatorconfig.Default()
 	own.Log.Level = "warn"
 	bind, at, err := w.Party(name, number+1)
 	if err != nil || w.Alone {
@@ -53,7 +53,7 @@
 	own.Fleet.Zone = zone
 	own.Fleet.Record.Dir, own.Fleet.Record.Bind, own.Fleet.Record.Advertise = filepath.Join(w.Dir, name, "record"), bind, at
 	if number < w.Voters {
-		w.Fleet.Record.Voters = append(w.Fleet.Record.Voters, operator.Voter{Name: name, Addr: at, Zone: zone})
+		w.Fleet.Record.Voters = append(w.Fleet.Record.Voters, operatorconfig.Voter{Name: name, Addr: at, Zone: zone})
 	}
 	return own, os.MkdirAll(own.Fleet.Record.Dir, 0o700)
 }
@@ -112,7 +112,7 @@
 		if so() {
 			return time.Since(begun), true
 		}
-		if took = time.Since(begun); took > within || !standin.Sleep(ctx, looking) {
+		if took = time.Since(begun); took > within || !fake.Sleep(ctx, looking) {
 			return took, false
 		}
 	}
--- a/internal/rig/world/cold.go
+++ b/internal/scenario/testbed/cold.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import "time"
 
--- a/internal/rig/world/load.go
+++ b/internal/scenario/testbed/load.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import (
 	"bufio"
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 const (
@@ -38,7 +38,7 @@
 	rng := mrand.New(mrand.NewPCG(w.Options.Seed, 12))
 	room := make(chan struct{}, atOnce)
 	next := time.Now()
-	for id := 0; standin.Sleep(ctx, time.Until(next)); id++ {
+	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
 		w.mu.Lock()
 		rate, again := w.rate, w.again && w.rate > w.Rate && rng.Float64() > w.Rate/w.rate
 		w.mu.Unlock()
@@ -93,6 +93,6 @@
 		w.Broken("answer", fmt.Sprintf("k%x at %s was answered after %v", id, node, took))
 	}
 	if word == "UP" {
-		standin.Sleep(ctx, stays)
+		fake.Sleep(ctx, stays)
 	}
 }
--- a/internal/rig/world/node.go
+++ b/internal/scenario/testbed/node.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import (
 	"cmp"
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"coralrelay/internal/operator"
+	"coralrelay/internal/operatorconfig"
 )
 
 // settings is what the rig's nodes are told of their world: the platform's form,
@@ -28,11 +28,11 @@
 	Binary, Name, Dir, Discovery string
 	Number, Nodes                int
 	Sabotage                     string
-	Own                          *operator.File // nil for none
-	Cores                        int            // 0 for 1
-	Sockets                      int            // that it may use; 0 for 4096
-	Ramp                         int            // seconds until a server is warm; 0 for 2
-	Zone                         string         // where it stands; empty for a
+	Own                          *operatorconfig.File // nil for none
+	Cores                        int                  // 0 for 1
+	Sockets                      int                  // that it may use; 0 for 4096
+	Ramp                         int                  // seconds until a server is warm; 0 for 2
+	Zone                         string               // where it stands; empty for a
 }
 
 // Node is one real node, a process of its own.
--- a/internal/rig/world/nodes.go
+++ b/internal/scenario/testbed/nodes.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import (
 	"math/rand/v2"
--- a/internal/rig/world/play.go
+++ b/internal/scenario/testbed/play.go
@@ -1,4 +1,4 @@
-package world
+package testbed
 
 import (
 	"cmp"
@@ -80,10 +80,10 @@
 
 // Sabotaged builds one of the commands with guards that can be taken out.
 func Sabotaged(ctx context.Context, dir, command string) (binary string, err error) {
-	binary = filepath.Join(dir, command+"-sabotage")
-	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "sabotage", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
+	binary = filepath.Join(dir, command+"-mutated")
+	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "mutation", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("build with -tags sabotage, from the module's root: %w: %s", err, out)
+		return "", fmt.Errorf("build with -tags mutation, from the module's root: %w: %s", err, out)
 	}
 	return binary, nil
 }
--- a/internal/rig/world/rules.go
+++ b/internal/scenario/testbed/rules.go
@@ -1,11 +1,11 @@
-package world
+package testbed
 
 import (
 	"context"
 	"fmt"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // HoldDrain holds what a server got to the drain rule: nothing new later than the
 // grace after that node was told.
-func (r *Result) HoldDrain(roster *standin.Roster, node, server, what string, at time.Time) {
+func (r *Result) HoldDrain(roster *fake.Roster, node, server, what string, at time.Time) {
 	told := roster.Told(node, server)
 	if late := at.Sub(told); !told.IsZero() && late > DrainGrace+OnSockets {
 		r.Broken("drain", fmt.Sprintf("%s got %s from %s %v after the node was told", server, what, node, late))
@@ -28,15 +28,15 @@
 
 // Fall ends a server as a killed one ends. The roster notices a while later; later
 // still it is back at its address, cold and with a numbering of its own.
-func (r *Result) Fall(ctx context.Context, roster *standin.Roster, v *standin.Server, nodes []string, noticed, back time.Duration) {
+func (r *Result) Fall(ctx context.Context, roster *fake.Roster, v *fake.Server, nodes []string, noticed, back time.Duration) {
 	v.Kill()
-	standin.Sleep(ctx, noticed)
-	roster.Set(v.Name, standin.Left, time.Time{}, nil)
-	standin.Sleep(ctx, back)
+	fake.Sleep(ctx, noticed)
+	roster.Set(v.Name, fake.Left, time.Time{}, nil)
+	fake.Sleep(ctx, back)
 	addrs, err := v.Start(nodes)
 	if err != nil {
 		r.Broken("restart", err.Error())
 		return
 	}
-	roster.Set(v.Name, standin.Active, time.Now(), addrs)
+	roster.Set(v.Name, fake.Active, time.Now(), addrs)
 }
--- a/internal/rig/world/seen.go
+++ b/internal/scenario/testbed/seen.go
@@ -1,11 +1,11 @@
-package world
+package testbed
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // Line is a first line as a feed server saw it.
@@ -22,7 +22,7 @@
 }
 
 // Opened is told of each first line.
-func (w *World) Opened(o standin.Opened) {
+func (w *World) Opened(o fake.Opened) {
 	if w.Slow != nil {
 		defer func() { time.Sleep(w.Slow(o.Server)) }()
 	}
@@ -33,7 +33,7 @@
 }
 
 // Started is told of streams, which no client of a world asks for.
-func (w *World) Started(standin.Started) {}
+func (w *World) Started(fake.Started) {}
 
 // Lines are those that came between two times.
 func (w *World) Lines(from, until time.Time) (list []Line) {
--- a/internal/rig/world/servers.go
+++ b/internal/scenario/testbed/servers.go
@@ -1,16 +1,16 @@
-package world
+package testbed
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // Server is a feed server in a zone.
 type Server struct {
-	*standin.Server
+	*fake.Server
 	Zone    string
 	started time.Time // zero for warm from the beginning
 }
@@ -20,7 +20,7 @@
 
 // Join starts a server and lists it; a cold one begins its ramp now.
 func (w *World) Join(name, zone string, cold bool) (time.Time, error) {
-	v := &Server{Server: standin.NewServer(standin.ServerOptions{Name: name, Witness: w, Capacity: 10_000}), Zone: zone}
+	v := &Server{Server: fake.NewServer(fake.ServerOptions{Name: name, Witness: w, Capacity: 10_000}), Zone: zone}
 	v.Report(warmLoad)
 	started := time.Now()
 	if cold {
@@ -45,13 +45,13 @@
 	w.zones[name] = zone
 	w.mu.Unlock()
 	w.Roster.Place(name, zone)
-	w.Roster.Set(name, standin.Active, v.started, addrs)
+	w.Roster.Set(name, fake.Active, v.started, addrs)
 	return started, nil
 }
 
 // Leave takes a server off the list and ends it for good.
 func (w *World) Leave(name string) {
-	w.Roster.Set(name, standin.Left, time.Time{}, nil)
+	w.Roster.Set(name, fake.Left, time.Time{}, nil)
 	w.mu.Lock()
 	at := slices.IndexFunc(w.servers, func(v *Server) bool { return v.Name == name })
 	v := w.servers[at]
@@ -85,7 +85,7 @@
 
 // StartServers starts killed servers at their addresses. The roster tells that they are cold
 // from now on, unless they come back spoilt: then it is not told at all.
-func (w *World) StartServers(list []*Server, way standin.Spoilt) error {
+func (w *World) StartServers(list []*Server, way fake.Spoilt) error {
 	for _, v := range list {
 		v.Spoil(way)
 		if _, err := v.Start(w.Names); err != nil {
@@ -94,7 +94,7 @@
 		if err := w.Relay.Down(v.Name, false); err != nil {
 			return err
 		}
-		if way == standin.Sound {
+		if way == fake.Sound {
 			w.Chill(v)
 		}
 	}
@@ -104,11 +104,11 @@
 // Chill says that a server has begun anew just now: it is cold, and the roster tells so.
 func (w *World) Chill(v *Server) {
 	now := time.Now()
-	v.Spoil(standin.Sound)
+	v.Spoil(fake.Sound)
 	w.mu.Lock()
 	v.started = now
 	w.mu.Unlock()
-	w.Roster.Set(v.Name, standin.Active, now, nil)
+	w.Roster.Set(v.Name, fake.Active, now, nil)
 }
 
 // warmth is the part of what it can do warm that a server can do at a time.
--- a/internal/rig/world/world.go
+++ b/internal/scenario/testbed/world.go
@@ -1,7 +1,7 @@
 // Package world is what the scenes of the fleet share and none of them owns: nodes with
 // their agents and feed servers, each in a zone, the relay with faults between them, clients
 // at a rate, what the servers saw, and the checks that hold in every scene.
-package world
+package testbed
 
 import (
 	"context"
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/fault"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/faultproxy"
 )
 
 // Options size a world. Binary is the node's; Agent is its agent's, beside it if empty.
@@ -39,7 +39,7 @@
 	Hold         time.Duration // fleet.hold
 	Retries      float64       // fleet.retries
 	// Own completes what a member's file says, nil for nothing more.
-	Own func(name string, f *operator.File)
+	Own func(name string, f *operatorconfig.File)
 	// Clock is how far the clock of a member's agent is ahead, nil for not at all.
 	Clock func(name string) time.Duration
 }
@@ -59,13 +59,13 @@
 	Options
 	*Result
 	Dir    string
-	Roster *standin.Roster
-	Relay  *fault.Relay
+	Roster *fake.Roster
+	Relay  *faultproxy.Relay
 	Names  []string // of the nodes, and of their agents
 	Nodes  Nodes
 	Agents map[string]*Agent
 	Key    string                            // the fleet's key file
-	Fleet  operator.Fleet                    // what all members have alike
+	Fleet  operatorconfig.Fleet              // what all members have alike
 	Slow   func(server string) time.Duration // until a first line is answered; nil for at once
 
 	peers []string // where the relay takes members' messages
@@ -86,13 +86,13 @@
 		o.Zones = []string{"a"}
 	}
 	if o.Agent == "" {
-		o.Agent = Beside(o.Binary, "coralfleet")
+		o.Agent = Beside(o.Binary, "coralagent")
 	}
-	dir, err := os.MkdirTemp("", "coralrig-")
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Options: o, Result: NewResult(o.Scene, o.Seed), Dir: dir, Roster: standin.NewRoster(), Relay: fault.New(o.Seed),
+	w := &World{Options: o, Result: NewResult(o.Scene, o.Seed), Dir: dir, Roster: fake.NewRoster(), Relay: faultproxy.New(o.Seed),
 		Agents: map[string]*Agent{}, zones: map[string]string{}, rate: o.Rate}
 	if err := w.build(ctx); err != nil {
 		w.End()
@@ -149,10 +149,10 @@
 	if err := w.key(); err != nil {
 		return err
 	}
-	w.Fleet = operator.Default().Fleet
+	w.Fleet = operatorconfig.Default().Fleet
 	w.Fleet.Key, w.Fleet.Retries = w.Key, w.Retries
-	w.Fleet.Hold, w.Fleet.Epoch = operator.Duration{Duration: w.Hold}, operator.Duration{Duration: w.Window}
-	var own []operator.File
+	w.Fleet.Hold, w.Fleet.Epoch = operatorconfig.Duration{Duration: w.Hold}, operatorconfig.Duration{Duration: w.Window}
+	var own []operatorconfig.File
 	for i := range w.Options.Nodes {
 		name := fmt.Sprintf("n%d", i)
 		w.Names = append(w.Names, name)
@@ -193,7 +193,7 @@
 }
 
 // start starts a node with its agent.
-func (w *World) start(ctx context.Context, name string, number int, own *operator.File) error {
+func (w *World) start(ctx context.Context, name string, number int, own *operatorconfig.File) error {
 	discovery, err := w.Roster.Listen(name)
 	if err != nil {
 		return err
--- a/internal/rig/udp.go
+++ b/internal/scenario/udp.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // UDPOptions size the scene of flows of datagrams.
@@ -44,10 +44,10 @@
 
 type udpScene struct {
 	UDPOptions
-	*world.Result
-	roster  *standin.Roster
-	servers []*standin.Server
-	node    *world.Node
+	*testbed.Result
+	roster  *fake.Roster
+	servers []*fake.Server
+	node    *testbed.Node
 
 	mu   sync.Mutex
 	at   map[string]string    // flow: the server that had its latest datagram
@@ -60,22 +60,22 @@
 
 // UDP plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
-func UDP(ctx context.Context, o UDPOptions) (*world.Result, error) {
-	s := &udpScene{UDPOptions: o, Result: world.NewResult("udp", o.Seed), roster: standin.NewRoster(),
+func UDP(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
+	s := &udpScene{UDPOptions: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewRoster(),
 		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
 	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
 	if _, ok := UDPSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
 	}
-	dir, err := os.MkdirTemp("", "coralrig-")
+	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binary := o.Binary
 	if o.Sabotage != "" {
-		if binary, err = world.Sabotaged(ctx, dir, "coralrelay"); err != nil {
+		if binary, err = testbed.Sabotaged(ctx, dir, "coralrelay"); err != nil {
 			return nil, err
 		}
 	}
@@ -83,8 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	own := operator.Default()
-	if own.UDP.Listen, err = world.Reserve(); err != nil {
+	own := operatorconfig.Default()
+	if own.UDP.Listen, err = testbed.Reserve(); err != nil {
 		return nil, err
 	}
 	own.UDP.Flows, own.UDP.Sockets, own.UDP.Idle.Duration = o.Table, o.Table, time.Second
@@ -93,13 +93,13 @@
 	}
 	own.UDP.Silence.After.Duration = 500 * time.Millisecond
 	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
-	s.node, err = world.NewNode(world.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
+	s.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
 		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Cores: o.Cores, Sockets: o.Table + 2000})
 	if err != nil {
 		return nil, err
 	}
 	for i := range o.Servers {
-		v := standin.NewServer(standin.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: standin.NewFeed(1, 1, 1),
+		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
 			Witness: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
@@ -107,7 +107,7 @@
 		}
 		defer v.Kill()
 		s.servers = append(s.servers, v)
-		s.roster.Set(v.Name, standin.Active, time.Time{}, addrs)
+		s.roster.Set(v.Name, fake.Active, time.Time{}, addrs)
 	}
 	if err := s.node.Start(ctx); err != nil {
 		return nil, err
@@ -121,7 +121,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	standin.Sleep(ctx, 2*time.Second+own.UDP.Idle.Duration/2) // all are silent, and forgotten
+	fake.Sleep(ctx, 2*time.Second+own.UDP.Idle.Duration/2) // all are silent, and forgotten
 	return s.Result, s.settle(filepath.Join(dir, "n0", "log"))
 }
 
@@ -134,14 +134,14 @@
 	var flows sync.WaitGroup
 	for i := range beacons {
 		flows.Go(func() {
-			standin.Sleep(ctx, time.Duration(i)*arrivals/beacons)
+			fake.Sleep(ctx, time.Duration(i)*arrivals/beacons)
 			for ctx.Err() == nil {
 				n := next.Add(1)
 				if n > int64(s.Flows) {
 					return
 				}
 				name := fmt.Sprintf("f%d", n)
-				answered, strange := standin.Beacon(ctx, to, name, uint32(n%clients), 3, 15*time.Millisecond)
+				answered, strange := fake.Beacon(ctx, to, name, uint32(n%clients), 3, 15*time.Millisecond)
 				s.Add("answered", float64(answered))
 				s.Add("sent", 3)
 				for _, text := range strange {
--- a/internal/rig/udp_faults.go
+++ b/internal/scenario/udp_faults.go
@@ -1,4 +1,4 @@
-package rig
+package scenario
 
 import (
 	"bufio"
@@ -10,13 +10,13 @@
 	"strings"
 	"time"
 
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
 )
 
 // faults has servers drain, fall and come back, two at a time at most.
 func (s *udpScene) faults(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.UDPOptions.Seed, 11))
-	for n := 0; standin.Sleep(ctx, 1500*time.Millisecond); n++ {
+	for n := 0; fake.Sleep(ctx, 1500*time.Millisecond); n++ {
 		v := s.servers[rng.IntN(len(s.servers))]
 		s.mark(v.Name)
 		switch n % 4 {
@@ -28,22 +28,22 @@
 			s.mark(v.Name)
 		default:
 			s.Add("drains", 1)
-			s.roster.Set(v.Name, standin.Leaving, time.Time{}, nil)
-			standin.Sleep(ctx, 1200*time.Millisecond)
+			s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
+			fake.Sleep(ctx, 1200*time.Millisecond)
 			s.mark(v.Name)
-			s.roster.Set(v.Name, standin.Active, time.Time{}, nil)
+			s.roster.Set(v.Name, fake.Active, time.Time{}, nil)
 		}
 	}
 }
 
 // hang has a server answer nothing for a while, but for its probes.
-func (s *udpScene) hang(ctx context.Context, v *standin.Server) {
+func (s *udpScene) hang(ctx context.Context, v *fake.Server) {
 	s.Add("servers hung", 1)
 	s.mu.Lock()
 	s.hung[v.Name] = time.Now()
 	s.mu.Unlock()
 	v.Hang(true)
-	standin.Sleep(ctx, hangs)
+	fake.Sleep(ctx, hangs)
 	v.Hang(false)
 	s.mu.Lock()
 	delete(s.hung, v.Name)
@@ -53,7 +53,7 @@
 
 // heard counts what comes while a server answers nothing, and what of it comes to that one
 // although the node has had the time to notice. The lock is held.
-func (s *udpScene) heard(d standin.Datagram) {
+func (s *udpScene) heard(d fake.Datagram) {
 	for server, since := range s.hung {
 		if d.At.Sub(since) < noticing {
 			continue
@@ -72,7 +72,7 @@
 }
 
 // datagram holds what a server got to the rules.
-func (s *udpScene) datagram(d standin.Datagram) {
+func (s *udpScene) datagram(d fake.Datagram) {
 	if strings.HasPrefix(d.Flow, "spoofed") {
 		s.Add("flood arrived", 1)
 		return
--- a/internal/rig/zones/checks.go
+++ b/internal/scenario/zones/checks.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // left waits until some nodes must have left a zone, and holds them to the bounds: none of
@@ -18,8 +18,8 @@
 	late := fault.Add(bound + slack)
 	s.Set(step+"_asked_before", float64(len(s.Into(zone, fault.Add(-time.Second), fault))))
 	s.Least(step+"_asked_before", 5) // else nobody had anything to leave
-	standin.Sleep(ctx, time.Until(late)+looksOn)
-	world.Await(ctx, time.Until(fault.Add(bound+decided)), func() bool {
+	fake.Sleep(ctx, time.Until(late)+looksOn)
+	testbed.Await(ctx, time.Until(fault.Add(bound+decided)), func() bool {
 		left := s.watch.leaves(zone, fault)
 		return slices.ContainsFunc(nodes, func(name string) bool { return !left[name].IsZero() })
 	})
@@ -97,7 +97,7 @@
 
 // within holds servers to what they can bear, as they are full: what is over has to be
 // refused before it is sent.
-func (s *scene) within(step string, list []*world.Server, from, until time.Time) {
+func (s *scene) within(step string, list []*testbed.Server, from, until time.Time) {
 	const window = time.Second
 	bears := 0.0
 	for _, v := range list {
@@ -105,7 +105,7 @@
 	}
 	var at []time.Time
 	for _, l := range s.Lines(from, until) {
-		if slices.ContainsFunc(list, func(v *world.Server) bool { return v.Name == l.Server }) {
+		if slices.ContainsFunc(list, func(v *testbed.Server) bool { return v.Name == l.Server }) {
 			at = append(at, l.At)
 		}
 	}
@@ -127,7 +127,7 @@
 
 // comesBack waits until the fleet sends everywhere again, all members alike.
 func (s *scene) comesBack(ctx context.Context, step string) {
-	took, came := world.Await(ctx, returnBound, func() bool { return s.watch.settled(s.Names) })
+	took, came := testbed.Await(ctx, returnBound, func() bool { return s.watch.settled(s.Names) })
 	if ctx.Err() != nil {
 		return
 	}
