--- a/internal/rig/zones/links.go
+++ b/internal/scenario/zones/links.go
@@ -7,12 +7,12 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/scenario/testbed"
 )
 
-func named(list []*world.Server) (names []string) {
+func named(list []*testbed.Server) (names []string) {
 	for _, v := range list {
 		names = append(names, v.Name)
 	}
@@ -27,7 +27,7 @@
 	s.Relay.OneWay(s.In(from, true), append(named(s.Of(to)), s.In(to, true)...), cut)
 	s.left(ctx, "link", to, s.In(from, true), begun, leaveBound)
 	s.stays("link", to, s.In(from, false), begun.Add(leaveBound), time.Now())
-	s.notLeft("link", begun, func(p link.Seen) bool { return p.From != from || p.To != to })
+	s.notLeft("link", begun, func(p agentapi.Seen) bool { return p.From != from || p.To != to })
 	s.Relay.Heal()
 	s.comesBack(ctx, "link")
 	return nil
@@ -42,9 +42,9 @@
 	}
 	begun := time.Now()
 	s.Relay.OneWay(s.Names[:1], named(s.Of(to)), cut)
-	standin.Sleep(ctx, aloneBound)
+	fake.Sleep(ctx, aloneBound)
 	s.stays("one", to, s.Names[1:], begun.Add(leaveBound/2), time.Now())
-	s.notLeft("one", begun, func(p link.Seen) bool { return true })
+	s.notLeft("one", begun, func(p agentapi.Seen) bool { return true })
 	for name := range s.watch.leaves(to, begun) {
 		s.Broken("together", fmt.Sprintf("one: %s, which hears the record, left %s by itself", name, to))
 	}
@@ -56,16 +56,16 @@
 // self cuts a zone's nodes off from the servers of all others: it accuses nobody.
 func (s *scene) self(ctx context.Context, _ *mrand.Rand) error {
 	from := s.victim()
-	others := slices.DeleteFunc(s.All(), func(v *world.Server) bool { return v.Zone == from })
+	others := slices.DeleteFunc(s.All(), func(v *testbed.Server) bool { return v.Zone == from })
 	begun := time.Now()
 	s.Relay.OneWay(s.In(from, true), named(others), cut)
-	standin.Sleep(ctx, leaveBound+slack)
+	fake.Sleep(ctx, leaveBound+slack)
 	for _, zone := range s.Zones {
 		if zone != from {
 			s.stays("self", zone, s.In(from, false), begun.Add(leaveBound/2), time.Now())
 		}
 	}
-	s.notLeft("self", begun, func(p link.Seen) bool { return true })
+	s.notLeft("self", begun, func(p agentapi.Seen) bool { return true })
 	s.Relay.Heal()
 	s.comesBack(ctx, "self")
 	return nil
@@ -81,8 +81,8 @@
 	}
 	zone := s.victim()
 	begun := time.Now()
-	spoil(s.Of(zone), standin.Silent)
-	standin.Sleep(ctx, time.Duration(200+rng.IntN(600))*time.Millisecond)
+	spoil(s.Of(zone), fake.Silent)
+	fake.Sleep(ctx, time.Duration(200+rng.IntN(600))*time.Millisecond)
 	if err := a.Disk(true); err != nil {
 		return err
 	}
@@ -94,9 +94,9 @@
 	if err := a.Disk(false); err != nil {
 		return err
 	}
-	spoil(s.Of(zone), standin.Sound)
+	spoil(s.Of(zone), fake.Sound)
 	s.comesBack(ctx, "disk")
-	took, came := world.Await(ctx, 5*time.Second, func() bool { state, _ = s.watch.state(leader); return state.Disk == "" })
+	took, came := testbed.Await(ctx, 5*time.Second, func() bool { state, _ = s.watch.state(leader); return state.Disk == "" })
 	s.most("disk_writes_again_ms", took)
 	if !came && ctx.Err() == nil {
 		s.Broken("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.Disk))
@@ -138,17 +138,17 @@
 	others := s.Names[:len(s.Names)-1]
 	zone := s.victim(s.Zone(name)) // nobody alone leaves his own
 	s.Relay.Between([]string{name}, others, cut)
-	standin.Sleep(ctx, lease+slack)
+	fake.Sleep(ctx, lease+slack)
 	if state, _ := s.watch.state(name); state.Fresh {
 		s.Broken("lone", fmt.Sprintf("%s hears the record through a cut", name))
 	}
 	begun := time.Now()
-	spoil(s.Of(zone), standin.Silent)
+	spoil(s.Of(zone), fake.Silent)
 	s.left(ctx, "lone_others", zone, others, begun, leaveBound)
 	s.left(ctx, "lone", zone, []string{name}, begun, aloneBound)
 	s.Relay.Heal()
 	healed := time.Now()
-	_, came := world.Await(ctx, 8*time.Second, func() bool {
+	_, came := testbed.Await(ctx, 8*time.Second, func() bool {
 		state, _ := s.watch.state(name)
 		other, _ := s.watch.state(others[0])
 		return state.Fresh && state.Index == other.Index && state.Hash == other.Hash
@@ -157,7 +157,7 @@
 	if !came && ctx.Err() == nil {
 		s.Broken("lone", fmt.Sprintf("%s does not hear the record again: %s", name, s.watch.say()))
 	}
-	spoil(s.Of(zone), standin.Sound)
+	spoil(s.Of(zone), fake.Sound)
 	s.comesBack(ctx, "lone")
 	return nil
 }
--- a/internal/rig/zones/steps.go
+++ b/internal/scenario/zones/steps.go
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/rig/fault"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/scenario/faultproxy"
+	"coralrelay/internal/scenario/testbed"
 )
 
-func spoil(list []*world.Server, way standin.Spoilt) {
+func spoil(list []*testbed.Server, way fake.Spoilt) {
 	for _, v := range list {
 		v.Spoil(way)
 	}
@@ -24,9 +24,9 @@
 func (s *scene) silent(ctx context.Context, _ *mrand.Rand) error {
 	zone := s.victim()
 	begun := time.Now()
-	spoil(s.Of(zone), standin.Silent)
+	spoil(s.Of(zone), fake.Silent)
 	s.left(ctx, "silent", zone, s.Names, begun, leaveBound)
-	spoil(s.Of(zone), standin.Sound)
+	spoil(s.Of(zone), fake.Sound)
 	s.comesBack(ctx, "silent")
 	return nil
 }
@@ -44,7 +44,7 @@
 	}
 	s.comesBack(ctx, "cold")
 	steps := map[int]bool{}
-	for _, p := range s.watch.seen(back, func(p link.Seen) bool { return p.To == zone && p.Step > 0 }) {
+	for _, p := range s.watch.seen(back, func(p agentapi.Seen) bool { return p.To == zone && p.Step > 0 }) {
 		steps[p.Step] = true
 	}
 	s.Set("cold_steps_seen", float64(len(steps)))
@@ -55,7 +55,7 @@
 		most = max(most, x)
 	}
 	s.Set("cold_most_of_budget", most)
-	if most > world.Chance {
+	if most > testbed.Chance {
 		s.Broken("cold", fmt.Sprintf("a server that came back cold was sent %.2f times what it may be within %v", most, window))
 	}
 	s.Least("cold_most_of_budget", 0.02) // else nobody came back
@@ -64,12 +64,12 @@
 
 // dies kills servers of one zone. They refuse at once; from when nobody may send there any
 // more, something listens in their place that answers nobody and tells who does.
-func (s *scene) dies(ctx context.Context, step string, list []*world.Server, nodes []string, begun time.Time, bound time.Duration) error {
+func (s *scene) dies(ctx context.Context, step string, list []*testbed.Server, nodes []string, begun time.Time, bound time.Duration) error {
 	if err := s.KillServers(list); err != nil {
 		return err
 	}
-	standin.Sleep(ctx, time.Until(begun.Add(bound+slack)))
-	if err := s.StartServers(list, standin.Silent); err != nil {
+	fake.Sleep(ctx, time.Until(begun.Add(bound+slack)))
+	if err := s.StartServers(list, fake.Silent); err != nil {
 		return err
 	}
 	s.left(ctx, step, list[0].Zone, nodes, begun, bound)
@@ -84,13 +84,13 @@
 	if err := s.KillServers(dead); err != nil {
 		return err
 	}
-	standin.Sleep(ctx, leaveBound+slack)
+	fake.Sleep(ctx, leaveBound+slack)
 	from := time.Now()
-	standin.Sleep(ctx, 1500*time.Millisecond)
+	fake.Sleep(ctx, 1500*time.Millisecond)
 	s.within("half", sound, from, time.Now())
 	got := 0
 	for _, l := range s.Into(zone, from, time.Now()) {
-		if slices.ContainsFunc(sound, func(v *world.Server) bool { return v.Name == l.Server }) {
+		if slices.ContainsFunc(sound, func(v *testbed.Server) bool { return v.Name == l.Server }) {
 			got++
 		}
 	}
@@ -99,13 +99,13 @@
 	if float64(got) < 0.3*usual {
 		s.Broken("half", fmt.Sprintf("the sound servers of %s got %d first lines, about %.0f are usual", zone, got, usual))
 	}
-	s.notLeft("half", begun, func(p link.Seen) bool { return p.To == zone })
+	s.notLeft("half", begun, func(p agentapi.Seen) bool { return p.To == zone })
 	least := 1.0
-	for _, p := range s.watch.seen(begun, func(p link.Seen) bool { return p.To == zone }) {
+	for _, p := range s.watch.seen(begun, func(p agentapi.Seen) bool { return p.To == zone }) {
 		least = min(least, p.Share)
 	}
 	s.Set("half_least_share", least)
-	if err := s.StartServers(dead, standin.Sound); err != nil {
+	if err := s.StartServers(dead, fake.Sound); err != nil {
 		return err
 	}
 	s.comesBack(ctx, "half")
@@ -113,8 +113,8 @@
 }
 
 // notLeft holds the record to having left none of some pairs.
-func (s *scene) notLeft(step string, since time.Time, pairs func(p link.Seen) bool) {
-	for _, p := range s.watch.seen(since, func(p link.Seen) bool { return pairs(p) && gone(p.Posture) }) {
+func (s *scene) notLeft(step string, since time.Time, pairs func(p agentapi.Seen) bool) {
+	for _, p := range s.watch.seen(since, func(p agentapi.Seen) bool { return pairs(p) && gone(p.Posture) }) {
 		s.Broken("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.From, p.To))
 		return
 	}
@@ -126,21 +126,21 @@
 	one, other := s.victim(), s.victim()
 	stay := s.Of(slices.DeleteFunc(slices.Clone(s.Zones), func(z string) bool { return z == one || z == other })...)
 	// So much that it would make those that stay twice as full as they may be.
-	s.Surge(2 * float64(len(stay)) / float64(len(s.All())) / world.UsualLoad)
-	standin.Sleep(ctx, 3*time.Second) // seen by the record
+	s.Surge(2 * float64(len(stay)) / float64(len(s.All())) / testbed.UsualLoad)
+	fake.Sleep(ctx, 3*time.Second) // seen by the record
 	begun := time.Now()
 	lost := s.Of(one, other)
 	if err := s.KillServers(lost); err != nil {
 		return err
 	}
-	standin.Sleep(ctx, leaveBound+slack)
-	if err := s.StartServers(lost, standin.Silent); err != nil {
+	fake.Sleep(ctx, leaveBound+slack)
+	if err := s.StartServers(lost, fake.Silent); err != nil {
 		return err
 	}
 	from := time.Now()
 	s.left(ctx, "two", one, s.Names, begun, leaveBound)
 	s.left(ctx, "two", other, s.Names, begun, leaveBound)
-	standin.Sleep(ctx, time.Second)
+	fake.Sleep(ctx, time.Second)
 	s.within("two", stay, from, time.Now())
 	s.Least("two_survivors_most_of_budget", 0.5) // else nothing was asked of them
 	// The nodes' own rules keep those that stay from harm as well; what the record says is over
@@ -163,16 +163,16 @@
 	begun, twice := time.Now(), false
 	for n := 0; n < most && !twice; n++ {
 		if n > 0 {
-			standin.Sleep(ctx, every)
+			fake.Sleep(ctx, every)
 		}
-		spoil(s.Of(zone), standin.Silent)
-		standin.Sleep(ctx, every)
-		spoil(s.Of(zone), standin.Sound)
+		spoil(s.Of(zone), fake.Silent)
+		fake.Sleep(ctx, every)
+		spoil(s.Of(zone), fake.Sound)
 		for _, from := range s.Zones {
 			twice = twice || len(s.leftAt(from, zone, begun, every)) > 1
 		}
 	}
-	standin.Sleep(ctx, hold-leaveBound/2) // it serves, and is held all the same
+	fake.Sleep(ctx, hold-leaveBound/2) // it serves, and is held all the same
 	for _, from := range s.Zones {
 		left := s.leftAt(from, zone, begun, every)
 		s.Set("flap_left", max(s.Get("flap_left"), float64(len(left))))
@@ -192,7 +192,7 @@
 
 // leftAt is when one viewpoint left a zone: times more than apart from one another.
 func (s *scene) leftAt(from, zone string, since time.Time, apart time.Duration) (left []time.Time) {
-	for _, p := range s.watch.seen(since, func(p link.Seen) bool { return p.From == from && p.To == zone && gone(p.Posture) }) {
+	for _, p := range s.watch.seen(since, func(p agentapi.Seen) bool { return p.From == from && p.To == zone && gone(p.Posture) }) {
 		if n := len(left); n == 0 || p.at.Sub(left[n-1]) > apart {
 			left = append(left, p.at)
 		}
@@ -201,4 +201,4 @@
 }
 
 // cut is what befalls a link that is broken.
-var cut = fault.Fault{Cut: true}
+var cut = faultproxy.Fault{Cut: true}
--- a/internal/rig/zones/watch.go
+++ b/internal/scenario/zones/watch.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"coralrelay/internal/fleet/link"
-	"coralrelay/internal/rig/world"
-	"coralrelay/internal/standin"
+	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // looks is how often each agent is asked what it knows.
@@ -23,7 +23,7 @@
 	wg     sync.WaitGroup
 
 	mu       sync.Mutex
-	now      map[string]link.State // by agent; none of those that do not answer
+	now      map[string]agentapi.State // by agent; none of those that do not answer
 	bounds   []boundSeen
 	postures []postureSeen
 	overs    []overSeen
@@ -45,20 +45,20 @@
 
 // postureSeen is that the record has another posture.
 type postureSeen struct {
-	link.Seen
+	agentapi.Seen
 	at time.Time
 }
 
-func newWatchers(agents map[string]*world.Agent) *watchers {
+func newWatchers(agents map[string]*testbed.Agent) *watchers {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watchers{cancel: cancel, now: map[string]link.State{}}
+	w := &watchers{cancel: cancel, now: map[string]agentapi.State{}}
 	for name, a := range agents {
 		w.wg.Go(func() {
 			for {
-				var state link.State
-				err := a.Ask(link.Ask{Ask: "state"}, &state)
+				var state agentapi.State
+				err := a.Ask(agentapi.Ask{Ask: "state"}, &state)
 				w.heard(name, state, err == nil)
-				if !standin.Sleep(ctx, looks) {
+				if !fake.Sleep(ctx, looks) {
 					return
 				}
 			}
@@ -73,7 +73,7 @@
 }
 
 // heard takes one agent's answer.
-func (w *watchers) heard(name string, s link.State, ok bool) {
+func (w *watchers) heard(name string, s agentapi.State, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !ok {
@@ -109,7 +109,7 @@
 	return p
 }
 
-func shares(bounds []link.Bound) map[string]float64 {
+func shares(bounds []agentapi.Bound) map[string]float64 {
 	m := map[string]float64{}
 	for _, b := range bounds {
 		m[b.Zone] = b.Share
@@ -131,7 +131,7 @@
 }
 
 // state is what an agent told last, and whether it answers.
-func (w *watchers) state(name string) (link.State, bool) {
+func (w *watchers) state(name string) (agentapi.State, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.now[name]
@@ -185,7 +185,7 @@
 }
 
 // seen are the postures that the record took since a time, of those that fit.
-func (w *watchers) seen(since time.Time, fits func(p link.Seen) bool) (list []postureSeen) {
+func (w *watchers) seen(since time.Time, fits func(p agentapi.Seen) bool) (list []postureSeen) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.postures {
--- a/internal/rig/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -11,9 +11,9 @@
 	"slices"
 	"time"
 
-	"coralrelay/internal/fleet/zone"
-	"coralrelay/internal/operator"
-	"coralrelay/internal/rig/world"
+	"coralrelay/internal/fleet/zonestatus"
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/testbed"
 )
 
 // Options size the scene of zones that fail.
@@ -62,7 +62,7 @@
 
 // scene is one run.
 type scene struct {
-	*world.World
+	*testbed.World
 	watch *watchers
 	rate  float64
 	next  int // whose turn it is to fail
@@ -70,22 +70,22 @@
 
 // Play plays the scene: feed servers, links, nodes and agents of zones fail in many ways,
 // and the fleet leaves and returns as one.
-func Play(ctx context.Context, o Options) (*world.Result, error) {
+func Play(ctx context.Context, o Options) (*testbed.Result, error) {
 	if _, ok := Sabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no sabotage %q", o.Sabotage)
+		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
 	}
 	w := options(o)
 	if o.Sabotage != "" {
-		dir, err := os.MkdirTemp("", "coralrig-")
+		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		if w.Agent, err = world.Sabotaged(ctx, dir, "coralfleet"); err != nil {
+		if w.Agent, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
-	built, err := world.New(ctx, w)
+	built, err := testbed.New(ctx, w)
 	if err != nil {
 		return nil, err
 	}
@@ -98,18 +98,18 @@
 }
 
 // options is the scene's world.
-func options(o Options) world.Options {
-	w := world.Options{Scene: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
+func options(o Options) testbed.Options {
+	w := testbed.Options{Scene: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
 		Binary: o.Binary, Sabotage: o.Sabotage, Progress: o.Progress, Ramp: ramp, Window: window, Hold: 3 * time.Second, Retries: retries}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operator.File) {
+	w.Own = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
 		z.Steady, z.Hold, z.HoldMost, z.Quiet = of(steady), of(hold), of(2*hold), of(2*hold)
 		z.Gap, z.Ramp, z.Skew = of(2*time.Second), of(ramp), of(skew)
-		z.Cold, z.Bears = world.ColdFrom, o.Rate/float64(o.Servers)/world.UsualLoad
+		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.Record.Lease = of(lease)
 	}
 	w.Clock = func(name string) time.Duration {
@@ -121,11 +121,11 @@
 	return w
 }
 
-func of(d time.Duration) operator.Duration { return operator.Duration{Duration: d} }
+func of(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
 
 // steps is the script.
-func (s *scene) steps() (all []world.Step) {
-	for _, step := range []world.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "silent", Do: s.silent},
+func (s *scene) steps() (all []testbed.Step) {
+	for _, step := range []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "silent", Do: s.silent},
 		{Name: "link", Do: s.link}, {Name: "half", Do: s.half}, {Name: "one", Do: s.one}, {Name: "self", Do: s.self}, {Name: "disk", Do: s.disk},
 		{Name: "leader", Do: s.leader}, {Name: "lone", Do: s.lone}, {Name: "two", Do: s.two}, {Name: "flap", Do: s.flap}} {
 		do := step.Do
@@ -160,7 +160,7 @@
 // meet lets members find each other and agree on a leader, and nodes learn the usual rate:
 // a node that has just begun takes more from second to second.
 func (s *scene) meet(ctx context.Context, _ *mrand.Rand) error {
-	_, met := world.Await(ctx, 20*time.Second, func() bool {
+	_, met := testbed.Await(ctx, 20*time.Second, func() bool {
 		now := time.Now()
 		served, _ := s.Served(now.Add(-time.Second), now)
 		return served > 0.97 && s.watch.settled(s.Names)
@@ -183,5 +183,5 @@
 
 // gone tells whether a posture sends nothing.
 func gone(posture string) bool {
-	return slices.Contains([]string{zone.Leaving.String(), zone.Left.String(), zone.Held.String()}, posture)
+	return slices.Contains([]string{zonestatus.Leaving.String(), zonestatus.Left.String(), zonestatus.Held.String()}, posture)
 }
--- a/internal/wire/wire.go
+++ b/internal/simproto/wire.go
@@ -1,6 +1,6 @@
 // Package wire turns the simulator's lines of JSON into the events of package
 // balance, and its actions into lines. It decides nothing.
-package wire
+package simproto
 
 import (
 	"bufio"
--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"coralrelay/internal/flow"
+	"coralrelay/internal/flowtable"
 )
 
 // Fronts are several at one address, where there are cores for them: the kernel deals
@@ -47,7 +47,7 @@
 	o.Table.Entries, o.Sockets = share(o.Table.Entries), max(1, o.Sockets/n)
 	o.Room.Count, o.Room.Bytes = share(o.Room.Count), share(o.Room.Bytes)
 	o.Sources.Rate, o.Sources.Burst = o.Sources.Rate/float64(n), max(1, o.Sources.Burst/float64(n))
-	for _, p := range []*flow.Pace{&o.New, &o.Again} {
+	for _, p := range []*flowtable.Pace{&o.New, &o.Again} {
 		p.Rate, p.Burst = p.Rate/float64(n), max(1, p.Burst/float64(n))
 	}
 	return o
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -7,8 +7,8 @@
 	"net/netip"
 	"time"
 
-	"coralrelay/internal/flow"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/flowtable"
+	"coralrelay/internal/mutation"
 )
 
 const (
@@ -20,7 +20,7 @@
 type health struct {
 	server   string
 	flows    int // that stand there
-	evidence flow.Evidence
+	evidence flowtable.Evidence
 
 	echo     *net.UDPConn // nil where probes tell
 	asked    bool         // an echo is out
@@ -88,7 +88,7 @@
 			continue
 		}
 		f.inquire(h, now)
-		if !h.evidence.Silent(at, f.o.Silence) || sabotage.On("silence") {
+		if !h.evidence.Silent(at, f.o.Silence) || mutation.On("silence") {
 			continue
 		}
 		n := f.lose(h)
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -10,8 +10,8 @@
 	"golang.org/x/net/ipv4"
 
 	"coralrelay/balance"
-	"coralrelay/internal/flow"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/flowtable"
+	"coralrelay/internal/mutation"
 )
 
 // writing is how long a batch may wait for room in a socket's buffer; the front's lock is
@@ -103,7 +103,7 @@
 	x.out.hop.evidence.Sent(f.clock)
 	if !f.o.Shared {
 		if f.o.Proxy {
-			d = append(appendProxy(make([]byte, 0, longestProxy+len(d)), p.client, f.addr, flow.Ref{}), d...)
+			d = append(appendProxy(make([]byte, 0, longestProxy+len(d)), p.client, f.addr, flowtable.Ref{}), d...)
 		}
 		if _, err := x.out.conn.Write(d); err != nil {
 			f.Counts.Unsent.Add(1)
@@ -264,7 +264,7 @@
 	switch {
 	case err != nil:
 		return client, nil, false
-	case sabotage.On("stale"):
+	case mutation.On("stale"):
 		return client, text, true
 	case !f.table.Valid(r):
 		return client, nil, false
--- a/internal/udp/proxy.go
+++ b/internal/udp/proxy.go
@@ -5,7 +5,7 @@
 	"errors"
 	"net/netip"
 
-	"coralrelay/internal/flow"
+	"coralrelay/internal/flowtable"
 )
 
 var errProxy = errors.New("no PROXY v2 header for UDP")
@@ -29,7 +29,7 @@
 
 // appendProxy appends the header for a datagram from src to dst, with the flow's mark if
 // it has one.
-func appendProxy(b []byte, src, dst netip.AddrPort, r flow.Ref) []byte {
+func appendProxy(b []byte, src, dst netip.AddrPort, r flowtable.Ref) []byte {
 	extra := 0
 	if r.Gen != 0 {
 		extra = markLen
@@ -57,7 +57,7 @@
 
 // cutProxy reads a header and returns what follows it, and the flow's mark, with which Gen
 // is not 0. Other values behind the addresses are passed over.
-func cutProxy(b []byte) (src, dst netip.AddrPort, r flow.Ref, rest []byte, err error) {
+func cutProxy(b []byte) (src, dst netip.AddrPort, r flowtable.Ref, rest []byte, err error) {
 	if len(b) < proxyHead || string(b[:len(signature)]) != signature || b[12] != versionProxy {
 		return src, dst, r, nil, errProxy
 	}
@@ -82,10 +82,10 @@
 	for len(body) >= 3 {
 		kind, size := body[0], int(binary.BigEndian.Uint16(body[1:]))
 		if size > len(body)-3 {
-			return src, dst, flow.Ref{}, nil, errProxy
+			return src, dst, flowtable.Ref{}, nil, errProxy
 		}
 		if kind == mark && size == 8 {
-			r = flow.Ref{Index: int32(binary.BigEndian.Uint32(body[3:])), Gen: binary.BigEndian.Uint32(body[7:])}
+			r = flowtable.Ref{Index: int32(binary.BigEndian.Uint32(body[3:])), Gen: binary.BigEndian.Uint32(body[7:])}
 		}
 		body = body[3+size:]
 	}
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -18,9 +18,9 @@
 	"golang.org/x/net/ipv4"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/flow"
-	"coralrelay/internal/sabotage"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/flowtable"
+	"coralrelay/internal/mutation"
 	"coralrelay/internal/tally"
 )
 
@@ -40,11 +40,11 @@
 
 // Decider places flows; *decide.Core does.
 type Decider interface {
-	Submit(item decide.Item, b decide.Branches)
-	CallerGone(item decide.Item)
-	Ended(item decide.Item, outcome balance.Outcome)
-	BranchUp(item decide.Item, attempt int, server string, latency time.Duration)
-	BranchEnded(item decide.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
+	Submit(item dispatch.Item, b dispatch.Branches)
+	CallerGone(item dispatch.Item)
+	Ended(item dispatch.Item, outcome balance.Outcome)
+	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
+	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
 }
 
 // Hops knows where next hops are, and which may be sent to.
@@ -61,16 +61,16 @@
 	Listen   netip.AddrPort // one address, not all of the machine's: replies come from it
 	Class    string
 	Deadline time.Duration // for a decision; what waits longer is dropped
-	Table    flow.Options
-	Sources  flow.SourceOptions
-	Queue    flow.Bounds // of one flow, while it waits for a decision
-	Room     flow.Room   // for all that wait
-	New      flow.Pace   // for flows that are new: what a flood may cost the module
-	Again    flow.Pace   // for flows that have lost their next hop
-	Sockets  int         // to next hops: one for each flow, or for each next hop and front
-	Shared   bool        // flows share a next hop's socket, which replies by Proxy alone
-	Proxy    bool        // a PROXY v2 header before each datagram to next hops
-	Silence  flow.SilenceOptions
+	Table    flowtable.Options
+	Sources  flowtable.SourceOptions
+	Queue    flowtable.Bounds // of one flow, while it waits for a decision
+	Room     flowtable.Room   // for all that wait
+	New      flowtable.Pace   // for flows that are new: what a flood may cost the module
+	Again    flowtable.Pace   // for flows that have lost their next hop
+	Sockets  int              // to next hops: one for each flow, or for each next hop and front
+	Shared   bool             // flows share a next hop's socket, which replies by Proxy alone
+	Proxy    bool             // a PROXY v2 header before each datagram to next hops
+	Silence  flowtable.SilenceOptions
 	Echo     string // a datagram that next hops answer, to ask for their health; empty for their probes
 }
 
@@ -100,11 +100,11 @@
 	failed  tally.Tally
 
 	mu       sync.Mutex
-	table    *flow.Table
-	sources  *flow.Sources
-	room     flow.Room
-	fresh    flow.Pace          // new flows in line
-	again    flow.Pace          // those that were placed before, which go first
+	table    *flowtable.Table
+	sources  *flowtable.Sources
+	room     flowtable.Room
+	fresh    flowtable.Pace     // new flows in line
+	again    flowtable.Pace     // those that were placed before, which go first
 	flows    []place            // beside the table's entries
 	placed   int                // flows that have a socket
 	sockets  int                // that they have
@@ -125,16 +125,16 @@
 // place is what the front keeps of a flow.
 type place struct {
 	client  netip.AddrPort
-	waiting flow.Waiting
+	waiting flowtable.Waiting
 	item    *item // the placement that is asked for or stands, nil if none is
 	inLine  bool  // it waits to be placed again
 }
 
 // item is one placement of a flow.
 type item struct {
-	decide.Request
+	dispatch.Request
 	front *Front
-	ref   flow.Ref
+	ref   flowtable.Ref
 	// Under the front's lock:
 	server string
 	out    *outlet // set while it stands
@@ -148,7 +148,7 @@
 		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
 	}
 	return &Front{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
-		start: time.Now(), name: "u", table: flow.NewTable(o.Table), sources: flow.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
+		start: time.Now(), name: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
 		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, news: make(chan struct{}, 1)}
 }
 
@@ -251,21 +251,21 @@
 // take is called under the lock for each datagram.
 func (f *Front) take(from netip.AddrPort, d []byte, now time.Time) {
 	f.Counts.In.Add(1)
-	k := flow.Key{Addr: from.Addr().As16(), Port: from.Port()}
+	k := flowtable.Key{Addr: from.Addr().As16(), Port: from.Port()}
 	at := now.Sub(f.start)
 	r, ok := f.table.Lookup(k)
 	if ok {
 		f.table.Touch(r, at)
 	} else {
-		if !f.sources.Allow(k, at) && !sabotage.On("source") {
+		if !f.sources.Allow(k, at) && !mutation.On("source") {
 			f.Counts.Limited.Add(1)
 			return
 		}
-		var v flow.Verdict
-		if r, v = f.table.Admit(k, at, func(old flow.Ref) {
+		var v flowtable.Verdict
+		if r, v = f.table.Admit(k, at, func(old flowtable.Ref) {
 			f.Counts.Evicted.Add(1)
 			f.leave(old)
-		}); v != flow.Admitted {
+		}); v != flowtable.Admitted {
 			f.Counts.Full.Add(1)
 			return
 		}
@@ -291,11 +291,11 @@
 }
 
 // ask has the module place a flow.
-func (f *Front) ask(r flow.Ref, now time.Time) {
+func (f *Front) ask(r flowtable.Ref, now time.Time) {
 	p := &f.flows[r.Index]
 	f.named++
 	k := p.client.Addr().String()
-	x := &item{front: f, ref: r, Request: decide.Request{ID: f.name + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
+	x := &item{front: f, ref: r, Request: dispatch.Request{ID: f.name + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
 		Deadline: now.Add(f.o.Deadline)}}
 	p.item = x
 	f.say(func() { f.core.Submit(x, f) })
@@ -309,11 +309,11 @@
 }
 
 // wants tells whether a flow in line still has to be placed.
-func (f *Front) wants(r flow.Ref) bool { return f.table.Valid(r) && f.flows[r.Index].item == nil }
+func (f *Front) wants(r flowtable.Ref) bool { return f.table.Valid(r) && f.flows[r.Index].item == nil }
 
 // placeInLine asks for those whose turn it is.
 func (f *Front) placeInLine(now time.Time) {
-	for _, line := range []*flow.Pace{&f.again, &f.fresh} {
+	for _, line := range []*flowtable.Pace{&f.again, &f.fresh} {
 		for {
 			r, ok, _ := line.Next(now.Sub(f.start), f.wants)
 			if !ok {
@@ -346,7 +346,7 @@
 }
 
 // leave forgets what the front has of a flow.
-func (f *Front) leave(r flow.Ref) {
+func (f *Front) leave(r flowtable.Ref) {
 	p := &f.flows[r.Index]
 	p.waiting.Drain(&f.room, func([]byte) { f.Counts.Gone.Add(1) })
 	if p.item != nil {
@@ -366,8 +366,8 @@
 		}
 		now := time.Now()
 		f.mu.Lock()
-		if !sabotage.On("expiry") {
-			f.table.Advance(f.now(), expiring, func(r flow.Ref) {
+		if !mutation.On("expiry") {
+			f.table.Advance(f.now(), expiring, func(r flowtable.Ref) {
 				f.Counts.Expired.Add(1)
 				f.leave(r)
 			})
@@ -412,7 +412,7 @@
 // Start gives a flow its socket. Nothing is sent to find out whether the next hop is
 // there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
 // silence ends it later.
-func (f *Front) Start(i decide.Item, attempt int, server string, _ time.Time) {
+func (f *Front) Start(i dispatch.Item, attempt int, server string, _ time.Time) {
 	x := i.(*item)
 	f.wg.Go(func() {
 		begun := time.Now()
@@ -505,7 +505,7 @@
 }
 
 // Asked is the request.
-func (x *item) Asked() *decide.Request { return &x.Request }
+func (x *item) Asked() *dispatch.Request { return &x.Request }
 
 // Refuse drops what waits: a datagram's client has no other answer.
 func (x *item) Refuse(time.Duration) bool { return x.Fail() }
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/flow"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/flowtable"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -23,14 +23,14 @@
 	mu     sync.Mutex
 	server string // empty: nobody is placed
 	refuse bool
-	asked  []decide.Item
+	asked  []dispatch.Item
 	ended  []balance.Outcome
-	placed map[decide.Item]string
+	placed map[dispatch.Item]string
 	again  string // where a branch that has failed goes on; empty for nowhere
-	front  decide.Branches
+	front  dispatch.Branches
 }
 
-func (c *chooser) Submit(x decide.Item, b decide.Branches) {
+func (c *chooser) Submit(x dispatch.Item, b dispatch.Branches) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked, c.front = append(c.asked, x), b
@@ -41,18 +41,18 @@
 		b.Start(x, 0, c.server, x.Asked().Deadline)
 	}
 }
-func (c *chooser) CallerGone(decide.Item) {}
-func (c *chooser) Ended(_ decide.Item, o balance.Outcome) {
+func (c *chooser) CallerGone(dispatch.Item) {}
+func (c *chooser) Ended(_ dispatch.Item, o balance.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = append(c.ended, o)
 }
-func (c *chooser) BranchUp(x decide.Item, _ int, server string, _ time.Duration) {
+func (c *chooser) BranchUp(x dispatch.Item, _ int, server string, _ time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.placed[x] = server
 }
-func (c *chooser) BranchEnded(x decide.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
+func (c *chooser) BranchEnded(x dispatch.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
 	c.mu.Lock()
 	again := c.again
 	c.mu.Unlock()
@@ -131,12 +131,12 @@
 func fronts(t testing.TB, n int, change func(*Options)) (Fronts, *chooser, *hops) {
 	t.Helper()
 	o := Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Class: "feed", Deadline: time.Second, Sockets: 100,
-		Table: flow.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
-		Queue: flow.Bounds{Count: 3, Bytes: 1 << 17}, Room: flow.Room{Count: 100, Bytes: 1 << 20}, New: flow.Pace{Rate: 1000, Burst: 10}, Again: flow.Pace{Rate: 1000, Burst: 10}}
+		Table: flowtable.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
+		Queue: flowtable.Bounds{Count: 3, Bytes: 1 << 17}, Room: flowtable.Room{Count: 100, Bytes: 1 << 20}, New: flowtable.Pace{Rate: 1000, Burst: 10}, Again: flowtable.Pace{Rate: 1000, Burst: 10}}
 	if change != nil {
 		change(&o)
 	}
-	c := &chooser{server: "a", placed: map[decide.Item]string{}}
+	c := &chooser{server: "a", placed: map[dispatch.Item]string{}}
 	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, mute: map[string]bool{}, hung: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
 	h.add(t, "a")
 	h.add(t, "b")
@@ -319,7 +319,7 @@
 	for _, s := range []string{"1", "2", "3", "4", "5"} {
 		x.send(s)
 	}
-	var asked []decide.Item
+	var asked []dispatch.Item
 	eventually(t, "all came", func() bool { // what is asked goes by way of the front's outbox
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -418,8 +418,8 @@
 
 func TestFullAndLimited(t *testing.T) {
 	f, _, _ := front(t, func(o *Options) {
-		o.Table.Entries, o.Table.Policy = 2, flow.RefuseNew
-		o.Sources = flow.SourceOptions{Slots: 64, Rate: 0.001, Burst: 3}
+		o.Table.Entries, o.Table.Policy = 2, flowtable.RefuseNew
+		o.Sources = flowtable.SourceOptions{Slots: 64, Rate: 0.001, Burst: 3}
 	})
 	for range 2 {
 		x := dial(t, f)
@@ -446,7 +446,7 @@
 			t.Run(name+", "+way, func(t *testing.T) {
 				t.Parallel()
 				f, core, h := front(t, both(mode, func(o *Options) {
-					o.Silence = flow.SilenceOptions{After: 300 * time.Millisecond, Datagrams: 5}
+					o.Silence = flowtable.SilenceOptions{After: 300 * time.Millisecond, Datagrams: 5}
 					if o.Echo = c.echo; c.echo != "" {
 						o.Silence.Datagrams = 0
 					}
@@ -542,10 +542,10 @@
 }
 
 // refOf is a client's flow; none if it is not known.
-func (f *Front) refOf(client netip.AddrPort) flow.Ref {
+func (f *Front) refOf(client netip.AddrPort) flowtable.Ref {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r, _ := f.table.Lookup(flow.Key{Addr: client.Addr().As16(), Port: client.Port()})
+	r, _ := f.table.Lookup(flowtable.Key{Addr: client.Addr().As16(), Port: client.Port()})
 	return r
 }
 
@@ -644,7 +644,7 @@
 		t.Run(name, func(t *testing.T) {
 			const flows = 60
 			all, c, h := fronts(t, 3, both(mode, func(o *Options) {
-				o.Table.Entries, o.Sockets, o.New.Burst, o.Table.Policy = 300, 300, 300, flow.RefuseNew
+				o.Table.Entries, o.Sockets, o.New.Burst, o.Table.Policy = 300, 300, 300, flowtable.RefuseNew
 			}))
 			for i := range flows {
 				x := dial(t, all)
@@ -690,8 +690,8 @@
 		})
 	}
 	var tight Options
-	tight.Table.Entries, tight.Sockets, tight.Room, tight.New = 100, 8, flow.Room{Count: 4, Bytes: 10}, flow.Pace{Rate: 30, Burst: 2}
-	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.Room != (flow.Room{Count: 2, Bytes: 4}) || p.New.Rate != 10 || p.New.Burst != 1 {
+	tight.Table.Entries, tight.Sockets, tight.Room, tight.New = 100, 8, flowtable.Room{Count: 4, Bytes: 10}, flowtable.Pace{Rate: 30, Burst: 2}
+	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.Room != (flowtable.Room{Count: 2, Bytes: 4}) || p.New.Rate != 10 || p.New.Burst != 1 {
 		t.Errorf("a third of the bounds: %+v", p)
 	}
 	if a, b := newPorts(0, 2), newPorts(1, 2); a.first+a.count != b.first {
@@ -707,8 +707,8 @@
 
 func FuzzProxy(f *testing.F) {
 	four, six := netip.MustParseAddrPort("127.0.0.9:53"), netip.MustParseAddrPort("[::1]:7")
-	f.Add(append(appendProxy(nil, four, four, flow.Ref{}), "hello"...))
-	f.Add(append(appendProxy(nil, six, four, flow.Ref{Index: 7, Gen: 3}), "hello"...))
+	f.Add(append(appendProxy(nil, four, four, flowtable.Ref{}), "hello"...))
+	f.Add(append(appendProxy(nil, six, four, flowtable.Ref{Index: 7, Gen: 3}), "hello"...))
 	f.Add([]byte(signature))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		src, dst, r, rest, err := cutProxy(b)
@@ -716,7 +716,7 @@
 			return
 		}
 		if r.Gen == 0 {
-			r = flow.Ref{} // no flow's
+			r = flowtable.Ref{} // no flow's
 		}
 		again, to, r2, rest2, err := cutProxy(append(appendProxy(nil, src, dst, r), rest...))
 		if err != nil || again.Port() != src.Port() || to.Addr().Unmap() != dst.Addr().Unmap() || r2 != r || !bytes.Equal(rest, rest2) {
--- a/internal/nexthop/branch.go
+++ b/internal/upstream/branch.go
@@ -1,4 +1,4 @@
-package nexthop
+package upstream
 
 // One attempt of a transaction: a connection, its first line, the answer.
 
@@ -11,24 +11,24 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 // branch is one attempt of a transaction.
 type branch struct {
 	hops     *Hops
-	t        *exchange.Transaction
+	t        *proxy.Transaction
 	hop      *hop
 	deadline time.Time
 }
 
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
-func (h *Hops) Start(item decide.Item, attempt int, server string, deadline time.Time) {
-	t := item.(*exchange.Transaction) // exchange.Decided brings no others here
+func (h *Hops) Start(item dispatch.Item, attempt int, server string, deadline time.Time) {
+	t := item.(*proxy.Transaction) // exchange.Decided brings no others here
 	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
 	go func() {
 		begun := time.Now()
@@ -61,7 +61,7 @@
 	if err != nil {
 		return false, balance.ConnectFailed, balance.NoLoad
 	}
-	l := leg.New(conn)
+	l := bufconn.New(conn)
 	stop := context.AfterFunc(b.t.Context(), func() { _ = conn.Close() })
 	up, outcome, load = b.offer(l, stop)
 	if !up {
@@ -72,7 +72,7 @@
 }
 
 // offer writes the first line and waits for the answer.
-func (b *branch) offer(l *leg.Leg, stop func() bool) (bool, balance.Outcome, balance.Load) {
+func (b *branch) offer(l *bufconn.Leg, stop func() bool) (bool, balance.Outcome, balance.Load) {
 	now := time.Now()
 	// A dial may take long: what has come meanwhile counts, so it is looked at again just
 	// before the first byte. The caller may have left, in a moment in which nobody has
@@ -93,21 +93,21 @@
 	case err != nil:
 		return false, balance.Reset, balance.NoLoad
 	}
-	reply, load := line.ParseReply(text)
+	reply, load := lineproto.ParseReply(text)
 	switch reply {
-	case line.Up:
+	case lineproto.Up:
 		_ = l.SetReadDeadline(time.Time{})
 		if stop() && b.t.Up(string(text), b.hop.id, l) {
 			return true, balance.OK, load
 		}
 		return false, balance.Cancelled, load
-	case line.Busy:
+	case lineproto.Busy:
 		return false, balance.Full, load
-	case line.Bye:
+	case lineproto.Bye:
 		return false, balance.OK, load
-	case line.Moved:
+	case lineproto.Moved:
 		return false, balance.Cancelled, load
-	case line.Malformed:
+	case lineproto.Malformed:
 		b.hops.bad.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
 	}
 	return false, balance.Errored, load
--- a/internal/nexthop/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -1,4 +1,4 @@
-package nexthop
+package upstream
 
 // What comes between two steps of an attempt or a probe: held open by a dial or a next hop
 // that waits.
@@ -15,10 +15,10 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 // heldDial dials, and hands out the connection once it is let go, whatever has come
@@ -48,11 +48,11 @@
 			})
 			held := hold(h)
 			near, far := net.Pipe()
-			o, err := line.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
+			o, err := lineproto.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
 			if err != nil {
 				t.Fatal(err)
 			}
-			x := exchange.New(exchange.Request{ID: "a"}, &o, line.Front{}, w, leg.New(near))
+			x := proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Front{}, w, bufconn.New(near))
 			ran := make(chan struct{})
 			go func() { defer close(ran); x.Run() }()
 			h.Start(x, 0, "s1", time.Now().Add(patience))
@@ -97,9 +97,9 @@
 
 // A drain is told, or the deadline comes, while the dial is under way: nothing is sent.
 func TestOverInTheDial(t *testing.T) {
-	leaving := roster.Entry{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}}
+	leaving := discovery.Entry{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}}
 	for name, over := range map[string]func(h *Hops){
-		"drains":   func(h *Hops) { h.Update(false, []roster.Entry{leaving}, time.Now().Add(-150*time.Millisecond)) },
+		"drains":   func(h *Hops) { h.Update(false, []discovery.Entry{leaving}, time.Now().Add(-150*time.Millisecond)) },
 		"gone":     func(h *Hops) { h.Update(true, nil, time.Now().Add(-time.Second)) },
 		"deadline": func(*Hops) { time.Sleep(time.Second) }, // of the bubble's time
 	} {
@@ -108,7 +108,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				h, w := New(ctx, Limits{Drain: 300 * time.Millisecond}), make(watcher, 16)
 				h.Watch(w)
-				h.Update(true, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: "s1"}}, time.Now())
+				h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: "s1"}}, time.Now())
 				near, far := net.Pipe()
 				dialled, let := make(chan struct{}), make(chan struct{})
 				h.Dial = func(context.Context, string, time.Time) (net.Conn, error) {
--- a/internal/nexthop/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -1,6 +1,6 @@
 // Package nexthop is the side of the feed servers: it makes branches, one
 // connection each, and probes over one kept connection to each next hop.
-package nexthop
+package upstream
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
 	"coralrelay/internal/tally"
 )
 
 // Watcher is told what becomes of branches and probes. A branch's socket is
 // closed, or the exchange's, by then.
 type Watcher interface {
-	BranchUp(item decide.Item, attempt int, server string, latency time.Duration)
-	BranchEnded(item decide.Item, attempt int, server string, outcome balance.Outcome,
+	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
+	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome,
 		latency time.Duration, load balance.Load)
 	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
 }
@@ -81,7 +81,7 @@
 func (h *Hops) Watch(w Watcher) { h.watch = w }
 
 // Update takes what the roster has told.
-func (h *Hops) Update(full bool, entries []roster.Entry, now time.Time) {
+func (h *Hops) Update(full bool, entries []discovery.Entry, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
--- a/internal/nexthop/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -1,4 +1,4 @@
-package nexthop
+package upstream
 
 import (
 	"bufio"
@@ -11,11 +11,11 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/decide"
-	"coralrelay/internal/exchange"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
-	"coralrelay/internal/roster"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
 )
 
 const patience = 10 * time.Second // no test waits this long unless it fails
@@ -29,8 +29,8 @@
 
 type watcher chan told
 
-func (w watcher) BranchUp(decide.Item, int, string, time.Duration) { w <- told{up: true} }
-func (w watcher) BranchEnded(_ decide.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.Load) {
+func (w watcher) BranchUp(dispatch.Item, int, string, time.Duration) { w <- told{up: true} }
+func (w watcher) BranchEnded(_ dispatch.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.Load) {
 	w <- told{outcome: o, load: l}
 }
 func (w watcher) Probed(_ string, o balance.Outcome, _ time.Duration, l balance.Load) {
@@ -38,8 +38,8 @@
 }
 
 // The exchange tells these; no test here waits for them.
-func (w watcher) CallerGone(decide.Item)             {}
-func (w watcher) Ended(decide.Item, balance.Outcome) {}
+func (w watcher) CallerGone(dispatch.Item)             {}
+func (w watcher) Ended(dispatch.Item, balance.Outcome) {}
 
 func (w watcher) next(t *testing.T) told {
 	t.Helper()
@@ -80,20 +80,20 @@
 	t.Cleanup(cancel)
 	h, w := New(ctx, Limits{Connect: patience, Probe: 300 * time.Millisecond, Drain: 300 * time.Millisecond}), make(watcher, 16)
 	h.Watch(w)
-	h.Update(true, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
+	h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
 	return h, w, addr
 }
 
 // transaction returns one that a caller waits for.
-func transaction(t *testing.T, w watcher) *exchange.Transaction {
+func transaction(t *testing.T, w watcher) *proxy.Transaction {
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
-	o, err := line.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
+	o, err := lineproto.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return exchange.New(exchange.Request{ID: "a"}, &o, line.Front{}, w, leg.New(near))
+	return proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Front{}, w, bufconn.New(near))
 }
 
 // What comes back decides the outcome, as the protocol's table says.
@@ -109,7 +109,7 @@
 		{"bye", "BYE\r\n", false, told{outcome: balance.OK}},
 		{"move", "MOVE\r\n", false, told{outcome: balance.Cancelled}},
 		{"malformed", "WHAT IS THIS\r\n", false, told{outcome: balance.Errored}},
-		{"endless", strings.Repeat("UP", leg.Size), false, told{outcome: balance.Reset}},
+		{"endless", strings.Repeat("UP", bufconn.Size), false, told{outcome: balance.Reset}},
 		{"ends", "", false, told{outcome: balance.Reset}},
 		{"ends within its answer", "UP r", false, told{outcome: balance.Reset}},
 		{"resets", "", true, told{outcome: balance.Reset}},
@@ -158,7 +158,7 @@
 			t.Errorf("sent %q", s)
 		}
 	})
-	leaving := []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}, Addr: addr}}
+	leaving := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}, Addr: addr}}
 	h.Update(false, leaving, time.Now().Add(-time.Second))
 	h.Start(transaction(t, w), 0, "s1", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
@@ -173,7 +173,7 @@
 
 func TestRefusedConnection(t *testing.T) {
 	h, w, _ := start(t, func(net.Conn) {})
-	h.Update(false, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s2"}, Addr: "127.0.0.1:1"}}, time.Now())
+	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s2"}, Addr: "127.0.0.1:1"}}, time.Now())
 	h.Start(transaction(t, w), 0, "s2", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
 		t.Errorf("told %+v", end)
@@ -194,7 +194,7 @@
 	h, w, _ := start(t, func(conn net.Conn) {
 		conns.Add(1)
 		for lines := bufio.NewScanner(conn); lines.Scan(); {
-			if lines.Text() != line.Stats {
+			if lines.Text() != lineproto.Stats {
 				t.Errorf("asked %q", lines.Text())
 			}
 			switch a := <-next; a {
@@ -237,7 +237,7 @@
 func TestProbesFollowTheAddress(t *testing.T) {
 	h, w, _ := start(t, func(net.Conn) {})
 	for _, x0 := range []float64{0.25, 0.75} {
-		moved := []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
+		moved := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
 		h.Update(false, moved, time.Now())
 		h.Probe("s1")
 		if got := w.next(t); got.outcome != balance.OK || got.load.X0 != x0 {
@@ -257,8 +257,8 @@
 	})
 	h.Probe("s1")
 	<-asked
-	h.Update(false, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Gone}}}, time.Now())
-	h.Update(false, []roster.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, "0.5")}}, time.Now())
+	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Gone}}}, time.Now())
+	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, "0.5")}}, time.Now())
 	for range 3 {
 		h.Probe("s1")
 		if got := w.next(t); got.outcome != balance.OK {
--- a/internal/nexthop/probe.go
+++ b/internal/upstream/probe.go
@@ -1,4 +1,4 @@
-package nexthop
+package upstream
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/leg"
-	"coralrelay/internal/line"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/lineproto"
 )
 
 // Probe asks a next hop for its load.
@@ -28,7 +28,7 @@
 
 // probeLoop owns the kept connection of one next hop.
 func (h *Hops) probeLoop(ctx context.Context, p *hop) {
-	var l *leg.Leg
+	var l *bufconn.Leg
 	at := "" // where l goes to
 	closeKept := func() {
 		if l != nil {
@@ -89,18 +89,18 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Hops) stats(ctx context.Context, id, addr string, kept **leg.Leg, deadline time.Time) (balance.Load, error) {
+func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Leg, deadline time.Time) (balance.Load, error) {
 	if *kept == nil {
 		conn, err := h.dial(ctx, addr, deadline)
 		if err != nil {
 			return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 		}
-		*kept = leg.New(conn)
+		*kept = bufconn.New(conn)
 	}
 	l := *kept
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	if err := l.WriteText(line.Stats, deadline); err != nil {
+	if err := l.WriteText(lineproto.Stats, deadline); err != nil {
 		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 	}
 	text, err := l.ReadText(deadline)
@@ -108,7 +108,7 @@
 		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
 	}
 	slog.Debug("probe", "nexthop", id, "line", string(text))
-	load, err := line.ParseStats(text)
+	load, err := lineproto.ParseStats(text)
 	if err != nil {
 		return balance.NoLoad, errors.Join(errStats, err)
 	}
