--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -65,7 +65,7 @@
 	defer parts.Wait()
 	defer cancel()
 	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.Record.Lease.Duration, Clock: clock,
-		Offset: c.ClockOffset, Together: mutation.On("together"), Guards: zoneGuards()}
+		Offset: c.ClockOffset, Together: mutation.Enabled("together"), Guards: zoneGuards()}
 	if f.Zones.Enabled {
 		zones := f.Zones.Config()
 		o.Zones = &zones
@@ -89,7 +89,7 @@
 	}()
 	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.Record.On(), "zones", f.Zones.Enabled)
 	err = m.Run(ctx, gossip.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
-		Open: mutation.On("open"), Interval: f.Interval.Duration, Log: toLog{}})
+		Open: mutation.Enabled("open"), Interval: f.Interval.Duration, Log: toLog{}})
 	cancel()
 	if e := <-served; err == nil {
 		err = e
--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -20,7 +20,7 @@
 // newMember is this agent's part in gossip.
 func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Agent {
 	cfg := quota.Config{Epoch: f.Epoch.Duration, Hold: f.Hold.Duration, Fresh: f.Fresh.Duration, Retries: f.Retries, Shun: f.Shun}
-	guards := quota.Guards{Ranks: mutation.On("ranks"), Expire: mutation.On("expire"), Quorum: mutation.On("quorum"), Budget: mutation.On("budget")}
+	guards := quota.Guards{Ranks: mutation.Enabled("ranks"), Expire: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), Budget: mutation.Enabled("budget")}
 	m := gossip.NewAgent(f.Name, cfg, guards, clock)
 	m.Zone = f.Zone
 	if f.Record.On() {
@@ -30,8 +30,8 @@
 }
 
 func zoneGuards() zonestatus.Guards {
-	return zonestatus.Guards{Panic: mutation.On("panic"), Return: mutation.On("return"), Accuse: mutation.On("accuse"),
-		Hold: mutation.On("hold"), Viewpoint: mutation.On("viewpoint"), Quorum: mutation.On("quorum")}
+	return zonestatus.Guards{Panic: mutation.Enabled("panic"), Return: mutation.Enabled("return"), Accuse: mutation.Enabled("accuse"),
+		Hold: mutation.Enabled("hold"), Viewpoint: mutation.Enabled("viewpoint"), Quorum: mutation.Enabled("quorum")}
 }
 
 // keepRecord opens the record and runs it until ctx ends.
@@ -58,8 +58,8 @@
 	}
 	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.Record.Dir, Bind: f.Record.Bind, Advertise: f.Record.Advertise,
 		Voters: voters, Key: key, Genesis: logentry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.Record.Lease.Duration,
-		Peers: peers, Log: toLog{}, Ignore: replog.Guards{Commit: mutation.On("commit"), Chain: mutation.On("chain"),
-			Sync: mutation.On("sync"), Stale: mutation.On("stale")}})
+		Peers: peers, Log: toLog{}, Ignore: replog.Guards{Commit: mutation.Enabled("commit"), Chain: mutation.Enabled("chain"),
+			Sync: mutation.Enabled("sync"), Stale: mutation.Enabled("stale")}})
 	if err != nil {
 		return err
 	}
@@ -74,6 +74,6 @@
 
 // accountGuards are those that a scene takes out; in other builds all are in.
 func accountGuards() account.Guards {
-	return account.Guards{Parent: mutation.On("parent"), Subtree: mutation.On("subtree"), Revoke: mutation.On("revoke"),
-		Half: mutation.On("half"), CallBack: mutation.On("callback")}
+	return account.Guards{Parent: mutation.Enabled("parent"), Subtree: mutation.Enabled("subtree"), Revoke: mutation.Enabled("revoke"),
+		Half: mutation.Enabled("half"), CallBack: mutation.Enabled("callback")}
 }
--- a/cmd/coralagent/promises.go
+++ b/cmd/coralagent/promises.go
@@ -13,8 +13,8 @@
 		return nil
 	}
 	p := &agent.Promises{Config: f.Promises.Config(), Pace: f.Promises.Pace, Time: f.Promises.Time, Zones: f.Zones.Config(),
-		Guards: slo.Guards{Greedy: mutation.On("greedy"), Confidence: mutation.On("confidence"), Hysteresis: mutation.On("hysteresis"),
-			Explore: mutation.On("explore"), Limits: mutation.On("limits"), Stale: mutation.On("stale-evidence")}}
+		Guards: slo.Guards{Greedy: mutation.Enabled("greedy"), Confidence: mutation.Enabled("confidence"), Hysteresis: mutation.Enabled("hysteresis"),
+			Explore: mutation.Enabled("explore"), Limits: mutation.Enabled("limits"), Stale: mutation.Enabled("stale-evidence")}}
 	for _, v := range f.Record.Voters {
 		p.Voters = append(p.Voters, v.Name)
 	}
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -16,7 +16,7 @@
 // is named. While the agent can't be reached the node goes on by itself. It is called before
 // the Core runs.
 func startFleet(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, core *dispatch.Core) error {
-	if f.Agent == "" || mutation.On("deaf") {
+	if f.Agent == "" || mutation.Enabled("deaf") {
 		return nil
 	}
 	lost := func(err error) {
--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -24,7 +24,7 @@
 }
 
 func (f *fleet) Listed(u discovery.Update) {
-	if mutation.On("drain") {
+	if mutation.Enabled("drain") {
 		for i := range u.Entries {
 			if u.Entries[i].State == balance.Draining {
 				u.Entries[i].State = balance.Ready
--- a/cmd/coralscenario/main.go
+++ b/cmd/coralscenario/main.go
@@ -43,13 +43,13 @@
 
 // common is what all scenes have.
 type common struct {
-	Seed         uint64 `default:"1" help:"The script's seed."`
-	JSON         string `name:"json" placeholder:"FILE" help:"Write the result there."`
-	Sabotage     string `placeholder:"NAME" help:"Switch a guard off; the scene must then find broken rules and exit 1."`
-	ListSabotage bool   `help:"Name the guards that can be switched off, and end."`
+	Seed          uint64 `default:"1" help:"The script's seed."`
+	JSON          string `name:"json" placeholder:"FILE" help:"Write the result there."`
+	Mutation      string `placeholder:"NAME" help:"Switch a guard off; the scene must then find broken rules and exit 1."`
+	ListMutations bool   `help:"Name the guards that can be switched off, and end."`
 }
 
-// list prints what can be sabotaged.
+// list prints the mutations.
 func list(names map[string]string) error {
 	for _, name := range slices.Sorted(maps.Keys(names)) {
 		fmt.Printf("%-18s %s\n", name, names[name])
@@ -74,11 +74,11 @@
 }
 
 func (c *resumeCmd) Run(ctx context.Context, top *cli) error {
-	if c.ListSabotage {
-		return list(scenario.ResumeSabotages)
+	if c.ListMutations {
+		return list(scenario.ResumeMutations)
 	}
 	r, err := scenario.Resume(ctx, scenario.ResumeOptions{Seed: c.Seed, Moves: c.Moves, Nodes: c.Nodes, Servers: c.Servers,
-		Clients: c.Clients, Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
+		Clients: c.Clients, Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
 	}
@@ -98,15 +98,15 @@
 }
 
 func (c *udpCmd) Run(ctx context.Context, top *cli) error {
-	if c.ListSabotage {
-		return list(scenario.UDPSabotages)
+	if c.ListMutations {
+		return list(scenario.UDPMutations)
 	}
 	play := scenario.UDP
 	if c.Speed {
 		play = scenario.UDPSpeed
 	}
 	r, err := play(ctx, scenario.UDPOptions{Seed: c.Seed, Flows: c.Flows, Table: c.Table, Servers: c.Servers, Flood: c.Flood, Steady: max(c.Steady, 1), Shared: c.Shared, Cores: c.Cores, Binary: top.Node,
-		Sabotage: c.Sabotage, Progress: terminal()})
+		Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
 	}
@@ -123,14 +123,14 @@
 }
 
 func (c *fleetCmd) Run(ctx context.Context, top *cli) error {
-	if c.ListSabotage {
-		return list(scenario.FleetSabotages)
+	if c.ListMutations {
+		return list(scenario.FleetMutations)
 	}
 	if c.Nodes < 5 || c.Nodes > 9 || c.Servers < 6 || c.Servers > 40 || !(c.Rate >= 20 && c.Rate <= 1000) {
 		return errors.New("5 to 9 nodes, 6 to 40 servers and a rate of 20 to 1000 are wanted")
 	}
 	r, err := scenario.Fleet(ctx, scenario.FleetOptions{Seed: c.Seed, Nodes: c.Nodes, Servers: c.Servers, Rate: c.Rate, Alone: c.Alone, Steps: c.Steps,
-		Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
+		Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
 	}
@@ -148,14 +148,14 @@
 }
 
 func (c *zonesCmd) Run(ctx context.Context, top *cli) error {
-	if c.ListSabotage {
-		return list(zones.Sabotages)
+	if c.ListMutations {
+		return list(zones.Mutations)
 	}
 	if c.Nodes < 5 || c.Nodes > 15 || c.Voters != 3 && c.Voters != 5 || c.Zones < 3 || c.Zones > 6 || c.Servers < 2*c.Zones || c.Servers > 40 || !(c.Rate >= 60 && c.Rate <= 1000) {
 		return errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 6 zones, two servers or more in each, 40 at most, and a rate of 60 to 1000 are wanted")
 	}
 	r, err := zones.Play(ctx, zones.Options{Seed: c.Seed, Nodes: c.Nodes, Voters: c.Voters, Zones: c.Zones, Servers: c.Servers, Rate: c.Rate,
-		Steps: c.Steps, Binary: top.Node, Sabotage: c.Sabotage, Progress: terminal()})
+		Steps: c.Steps, Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
 	}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -39,7 +39,7 @@
 	History  int           // changes of a group that it can send again
 	Capacity int           // connections that fill it
 	// IgnoreEpoch makes it take a position of any numbering for one of its own: a
-	// cheat, for sabotage.
+	// cheat, for a mutation.
 	IgnoreEpoch bool
 	Datagrams   func(d Datagram) // with it the server takes datagrams too, at the same ports
 	Late        float64          // of them that it answers once more, seconds later
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -23,7 +23,7 @@
 	Advertise string   // where the others reach it, if that is elsewhere
 	Peers     []string // some other members' advertised addresses
 	Key       string   // file with 32, 48 or 64 hexadecimal digits; all members have the same
-	Open      bool     // without a key: for sabotage only
+	Open      bool     // without a key: for a mutation only
 	Interval  time.Duration
 	Log       io.Writer
 }
--- a/internal/fleet/slo/loop_test.go
+++ b/internal/fleet/slo/loop_test.go
@@ -107,13 +107,13 @@
 			return 0
 		}},
 	} {
-		sound, sabotaged := tt.play(Guards{}), tt.play(tt.out)
-		t.Logf("%s: %.4f, with the guard out %.4f", tt.name, sound, sabotaged)
+		sound, mutated := tt.play(Guards{}), tt.play(tt.out)
+		t.Logf("%s: %.4f, with the guard out %.4f", tt.name, sound, mutated)
 		if sound > tt.bound+1e-9 {
 			t.Errorf("%s: %.4f, at most %v", tt.name, sound, tt.bound)
 		}
-		if sabotaged <= tt.bound+1e-9 {
-			t.Errorf("%s: %.4f with the guard out: this test can't fail", tt.name, sabotaged)
+		if mutated <= tt.bound+1e-9 {
+			t.Errorf("%s: %.4f with the guard out: this test can't fail", tt.name, mutated)
 		}
 	}
 }
--- a/internal/mutation/off.go
+++ b/internal/mutation/off.go
@@ -1,9 +1,9 @@
 //go:build !mutation
 
-// Package sabotage switches single guards off, so that the rig can show that its
-// checks catch what the guards prevent. Only a build with the tag sabotage has it;
-// in any other On is false for the compiler, and the guards can't be switched off.
+// Package mutation switches single guards off, so that a scenario can show that its checks
+// catch what the guard prevents (mutation testing). Only a build with the tag mutation can
+// do so: in any other, Enabled is false for the compiler, and no guard can be switched off.
 package mutation
 
-// On tells whether a guard is off.
-func On(string) bool { return false }
+// Enabled reports whether the named guard is switched off.
+func Enabled(string) bool { return false }
--- a/internal/mutation/on.go
+++ b/internal/mutation/on.go
@@ -4,7 +4,9 @@
 
 import "os"
 
-var named = os.Getenv("CORALRELAY_SABOTAGE")
+// selected is the guard that is switched off. The variable keeps the name that it had when
+// mutations were called otherwise: environment variables outlive a release.
+var selected = os.Getenv("CORALRELAY_SABOTAGE")
 
-// On tells whether a guard is off.
-func On(name string) bool { return name == named }
+// Enabled reports whether the named guard is switched off.
+func Enabled(name string) bool { return name == selected }
--- a/internal/replayguard/ledger.go
+++ b/internal/replayguard/ledger.go
@@ -175,7 +175,7 @@
 	writer  *store.Writer
 	arbiter resumetoken.Arbiter
 	failed  tally.Tally
-	cheat   map[resumetoken.Nonce]resumetoken.Claimant // sabotage: records that are not written
+	cheat   map[resumetoken.Nonce]resumetoken.Claimant // mutation: records that are not written
 }
 
 func (d *durable) load() error {
@@ -238,7 +238,7 @@
 		return nil
 	}
 	p.d.arbiter.Kept++
-	if mutation.On("ledger-volatile") {
+	if mutation.Enabled("ledger-volatile") {
 		if p.d.cheat == nil {
 			p.d.cheat = map[resumetoken.Nonce]resumetoken.Claimant{}
 		}
--- a/internal/replayguard/service.go
+++ b/internal/replayguard/service.go
@@ -87,7 +87,7 @@
 		s.Counts.Bare.Add(1)
 		return ""
 	}
-	if mutation.On("position") {
+	if mutation.Enabled("position") {
 		pos.Offset++
 	}
 	text, err := resumetoken.Mint(terms.Ring, now, resumetoken.Grant{Issuer: s.name, Arbiter: arbiter.Name, Ledger: arbiter.Ledger,
@@ -104,7 +104,7 @@
 // Redeem settles one presentation, within the terms' wait and before ctx ends.
 func (s *Service) Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome {
 	terms := s.terms.Load()
-	if mutation.On("binding") {
+	if mutation.Enabled("binding") {
 		if t, err := resumetoken.Open(terms.Ring, p.Text); err == nil {
 			return s.ask(ctx, terms, p.Text, &resumetoken.Redemption{Token: t})
 		}
@@ -123,7 +123,7 @@
 	var c resumetoken.Claimant
 	_, _ = rand.Read(c[:])
 	v := s.verdict(ctx, text, &r.Token, c)
-	if mutation.On("ledger") {
+	if mutation.Enabled("ledger") {
 		v = resumetoken.Granted
 	}
 	o, _ := r.Answered(v)
--- a/internal/scenario/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -23,12 +23,12 @@
 	Seed                        uint64
 	Nodes, Voters, Zones, Teams int
 	Steps                       []string // of the script, empty for all; members meet and accounts are founded in any case
-	Binary, Sabotage            string   // the agent's binary is beside the node's
+	Binary, Mutation            string   // the agent's binary is beside the node's
 	Progress                    io.Writer
 }
 
-// Sabotages are the guards that the scene can switch off, all in the agent.
-var Sabotages = map[string]string{
+// Mutations are the guards that the scenario can switch off, all in the agent.
+var Mutations = map[string]string{
 	"commit":  "a proposal is applied before it is committed",
 	"parent":  "a child may hold more than its parent",
 	"subtree": "a grant reaches every path",
@@ -73,15 +73,15 @@
 // Play plays the scene: teams change routes, limits and grants at once through different
 // agents, while leaders die, links break, a disk fills up and agents stall.
 func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	if _, ok := Sabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
+	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	t, err := newTree(o.Teams)
 	if err != nil {
 		return nil, err
 	}
 	w := testbed.Options{Scene: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
-		Sabotage: o.Sabotage, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
+		Mutation: o.Mutation, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
@@ -95,13 +95,13 @@
 		}
 		return 0
 	}
-	if o.Sabotage != "" {
+	if o.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		if w.Agent, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
+		if w.Agent, err = testbed.BuildMutated(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -21,12 +21,12 @@
 	Rate             float64  // transactions a second in usual times
 	Steps            []string // of the script, empty for all; members meet in any case
 	Alone            bool     // nodes have no agents: figures for comparison, bounds not checked
-	Binary, Sabotage string   // the agent's binary is beside the node's
+	Binary, Mutation string   // the agent's binary is beside the node's
 	Progress         io.Writer
 }
 
-// FleetSabotages are the guards that the scene can switch off; deaf sits in the node, all others in the agent.
-var FleetSabotages = map[string]string{
+// FleetMutations are the guards that the scenario can switch off; deaf sits in the node, all others in the agent.
+var FleetMutations = map[string]string{
 	"ranks":  "each member takes a cold server's whole budget, whatever the others take",
 	"expire": "who has failed keeps his tokens for good",
 	"quorum": "one member's accusation is a verdict",
@@ -58,12 +58,12 @@
 // a cold server comes in a wave and a third of the nodes is cut off, servers fail, and
 // false members speak.
 func Fleet(ctx context.Context, o FleetOptions) (*testbed.Result, error) {
-	if _, ok := FleetSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
+	if _, ok := FleetMutations[o.Mutation]; o.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	w := testbed.Options{Scene: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, Alone: o.Alone, Binary: o.Binary,
-		Sabotage: o.Sabotage, Progress: o.Progress, Ramp: fleetRamp, Window: fleetWindow, Hold: fleetHold, Retries: fleetRetries}
-	if o.Sabotage != "" {
+		Mutation: o.Mutation, Progress: o.Progress, Ramp: fleetRamp, Window: fleetWindow, Hold: fleetHold, Retries: fleetRetries}
+	if o.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
@@ -71,11 +71,11 @@
 		defer func() { _ = os.RemoveAll(dir) }()
 		program := &w.Agent
 		name := "coralagent"
-		if o.Sabotage == "deaf" {
+		if o.Mutation == "deaf" {
 			program, name = &w.Binary, "coralrelay"
 			w.Agent = testbed.Beside(o.Binary, "coralagent")
 		}
-		if *program, err = testbed.Sabotaged(ctx, dir, name); err != nil {
+		if *program, err = testbed.BuildMutated(ctx, dir, name); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/scenario/promises.go
+++ b/internal/scenario/promises.go
@@ -23,12 +23,12 @@
 	Rate                          float64  // transactions a second of all contracts
 	Steps                         []string // of the script, empty for all; members meet in any case
 	Alone                         bool     // without the same play unsteered and greedy beside it
-	Binary, Sabotage              string   // the agent's binary is beside the node's
+	Binary, Mutation              string   // the agent's binary is beside the node's
 	Progress                      io.Writer
 }
 
-// PromisesSabotages are the guards that the scene can switch off, all in the agent.
-var PromisesSabotages = map[string]string{
+// PromisesMutations are the guards that the scenario can switch off, all in the agent.
+var PromisesMutations = map[string]string{
 	"greedy":         "all there is goes to the best region at once",
 	"confidence":     "a few samples are a verdict",
 	"hysteresis":     "no patience, no margin, and no budget asked",
@@ -71,26 +71,26 @@
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	sabotaged := ""
-	if o.Sabotage != "" || !o.Alone {
-		if sabotaged, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
+	mutatedAgent := ""
+	if o.Mutation != "" || !o.Alone {
+		if mutatedAgent, err = testbed.BuildMutated(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
 	type run struct {
-		name, agent, sabotage string
+		name, agent, mutation string
 		steered               bool
 	}
 	runs := []run{{"", "", "", true}}
-	if o.Sabotage != "" {
-		runs = []run{{"", sabotaged, o.Sabotage, true}}
+	if o.Mutation != "" {
+		runs = []run{{"", mutatedAgent, o.Mutation, true}}
 	} else if !o.Alone {
-		runs = append(runs, run{"unsteered", "", "", false}, run{"greedy", sabotaged, "greedy", true})
+		runs = append(runs, run{"unsteered", "", "", false}, run{"greedy", mutatedAgent, "greedy", true})
 	}
 	scenes, errs := make([]*promisesScene, len(runs)), make([]error, len(runs))
 	var all sync.WaitGroup
 	for i, r := range runs {
-		all.Go(func() { scenes[i], errs[i] = playPromises(ctx, o, r.name, r.agent, r.sabotage, r.steered) })
+		all.Go(func() { scenes[i], errs[i] = playPromises(ctx, o, r.name, r.agent, r.mutation, r.steered) })
 	}
 	all.Wait()
 	for i, err := range errs {
@@ -107,13 +107,13 @@
 }
 
 // playPromises is one run.
-func playPromises(ctx context.Context, o PromisesOptions, name, agent, sabotage string, steered bool) (*promisesScene, error) {
+func playPromises(ctx context.Context, o PromisesOptions, name, agent, mutation string, steered bool) (*promisesScene, error) {
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		return nil, err
 	}
 	w := testbed.Options{Scene: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
-		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Sabotage: sabotage,
+		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Mutation: mutation,
 		Ramp: promisesRamp, Window: promisesWindow, Hold: 3 * time.Second, Retries: 0.3}
 	if name == "" {
 		w.Progress = o.Progress
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -23,12 +23,12 @@
 type ResumeOptions struct {
 	Seed                           uint64
 	Moves, Nodes, Servers, Clients int
-	Binary, Sabotage               string
+	Binary, Mutation               string
 	Progress                       io.Writer
 }
 
-// ResumeSabotages are the guards that the scene can switch off.
-var ResumeSabotages = map[string]string{
+// ResumeMutations are the guards that the scenario can switch off.
+var ResumeMutations = map[string]string{
 	"ledger":          "the node honours a token without asking its arbiter",
 	"ledger-volatile": "the arbiter grants without writing",
 	"position":        "the node mints a position one too far",
@@ -114,16 +114,16 @@
 
 // build makes the parties and starts them.
 func (s *scene) build(ctx context.Context, dir string) error {
-	binary, sabotage := s.Binary, ""
-	if _, ok := ResumeSabotages[s.Sabotage]; s.Sabotage != "" && !ok {
-		return fmt.Errorf("no mutation %q", s.Sabotage)
+	binary, mutation := s.Binary, ""
+	if _, ok := ResumeMutations[s.Mutation]; s.Mutation != "" && !ok {
+		return fmt.Errorf("no mutation %q", s.Mutation)
 	}
-	if s.Sabotage != "" && s.Sabotage != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
+	if s.Mutation != "" && s.Mutation != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
 		var err error
-		if binary, err = testbed.Sabotaged(ctx, dir, "coralrelay"); err != nil {
+		if binary, err = testbed.BuildMutated(ctx, dir, "coralrelay"); err != nil {
 			return err
 		}
-		sabotage = s.Sabotage
+		mutation = s.Mutation
 	}
 	s.keys = filepath.Join(dir, "keys")
 	if _, _, err := keyfile.New(s.keys, time.Now().Add(-time.Second)); err != nil {
@@ -153,7 +153,7 @@
 			return err
 		}
 		n, err := testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
-			Number: i, Nodes: s.Nodes, Sabotage: sabotage, Own: &own})
+			Number: i, Nodes: s.Nodes, Mutation: mutation, Own: &own})
 		if err != nil {
 			return err
 		}
@@ -161,7 +161,7 @@
 	}
 	for i := range s.Servers {
 		o := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Witness: s, History: 200,
-			Capacity: max(60, 3*s.Clients/s.Servers), IgnoreEpoch: s.Sabotage == "epoch"}
+			Capacity: max(60, 3*s.Clients/s.Servers), IgnoreEpoch: s.Mutation == "epoch"}
 		switch i % 3 {
 		case 1:
 			o.Lag = 300 * time.Millisecond
--- a/internal/scenario/resume_faults.go
+++ b/internal/scenario/resume_faults.go
@@ -90,7 +90,7 @@
 // drain has a server drain, and come back later.
 func (s *scene) drain(ctx context.Context, v *fake.Server, away time.Duration) {
 	s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
-	if s.Sabotage != "drain" { // else it takes what it is wrongly sent, so that it is seen
+	if s.Mutation != "drain" { // else it takes what it is wrongly sent, so that it is seen
 		v.Drain(away)
 	}
 	fake.Sleep(ctx, 2500*time.Millisecond)
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -25,7 +25,7 @@
 // agent returns the agent beside a node, which is not started yet.
 func (w *World) agent(n *Node, own *operatorconfig.File) *Agent {
 	p := &Proc{Name: "agent " + n.Name, Binary: w.Agent, Dir: n.Dir, Log: "agent.log",
-		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + w.Sabotage}}
+		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + w.Mutation}}
 	if w.Clock != nil {
 		p.Args = append(p.Args, "--clock-offset="+w.Clock(n.Name).String())
 	}
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -27,7 +27,7 @@
 type NodeOptions struct {
 	Binary, Name, Dir, Discovery string
 	Number, Nodes                int
-	Sabotage                     string
+	Mutation                     string
 	Own                          *operatorconfig.File // nil for none
 	Cores                        int                  // 0 for 1
 	Sockets                      int                  // that it may use; 0 for 4096
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	n := &Node{NodeOptions: o, Addr: addr, Proc: &Proc{Name: "node " + o.Name, Binary: o.Binary, Dir: o.Dir, Log: "log",
-		Env: []string{"BALANCER_CONFIG=" + filepath.Join(o.Dir, "config.json"), "CORALRELAY_SABOTAGE=" + o.Sabotage}}}
+		Env: []string{"BALANCER_CONFIG=" + filepath.Join(o.Dir, "config.json"), "CORALRELAY_SABOTAGE=" + o.Mutation}}}
 	if o.Own != nil {
 		n.Proc.Args = []string{"--config", filepath.Join(o.Dir, "operator.json")}
 	}
--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// Sabotaged builds one of the commands with guards that can be taken out.
-func Sabotaged(ctx context.Context, dir, command string) (binary string, err error) {
+// BuildMutated builds one of the commands with guards that can be taken out.
+func BuildMutated(ctx context.Context, dir, command string) (binary string, err error) {
 	binary = filepath.Join(dir, command+"-mutated")
 	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "mutation", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
 	if err != nil {
--- a/internal/scenario/testbed/world.go
+++ b/internal/scenario/testbed/world.go
@@ -32,7 +32,7 @@
 	Links          bool     // nodes reach servers through the relay, too
 	Loads          bool     // servers report what they are asked; else a usual load
 	Binary, Agent  string
-	Sabotage       string // told to all processes
+	Mutation       string // told to all processes
 	Progress       io.Writer
 
 	Ramp, Window time.Duration // of the settings' guarantees: rampTime and tipAfter, in seconds
@@ -199,7 +199,7 @@
 		return err
 	}
 	n, err := NewNode(NodeOptions{Binary: w.Binary, Name: name, Dir: filepath.Join(w.Dir, name), Discovery: discovery, Number: number,
-		Nodes: w.Options.Nodes, Own: own, Sabotage: w.Sabotage, Ramp: int(w.Ramp.Seconds()), Zone: w.Zone(name)})
+		Nodes: w.Options.Nodes, Own: own, Mutation: w.Mutation, Ramp: int(w.Ramp.Seconds()), Zone: w.Zone(name)})
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/udp.go
+++ b/internal/scenario/udp.go
@@ -23,12 +23,12 @@
 	Flood                 bool // steady flows beside floods, in place of short ones
 	Cores                 int  // that the node has
 	Shared                bool // the node's flows share a socket to each next hop
-	Binary, Sabotage      string
+	Binary, Mutation      string
 	Progress              io.Writer
 }
 
-// UDPSabotages are the guards that the scene can switch off.
-var UDPSabotages = map[string]string{
+// UDPMutations are the guards that the scenario can switch off.
+var UDPMutations = map[string]string{
 	"drain":   "the node does not hear that a server drains",
 	"expiry":  "the node forgets no flow",
 	"silence": "the node's flows stay with a next hop that has fallen silent",
@@ -65,8 +65,8 @@
 		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
 	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
-	if _, ok := UDPSabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
+	if _, ok := UDPMutations[o.Mutation]; o.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
@@ -74,8 +74,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binary := o.Binary
-	if o.Sabotage != "" {
-		if binary, err = testbed.Sabotaged(ctx, dir, "coralrelay"); err != nil {
+	if o.Mutation != "" {
+		if binary, err = testbed.BuildMutated(ctx, dir, "coralrelay"); err != nil {
 			return nil, err
 		}
 	}
@@ -88,13 +88,13 @@
 		return nil, err
 	}
 	own.UDP.Flows, own.UDP.Sockets, own.UDP.Idle.Duration = o.Table, o.Table, time.Second
-	if o.Shared || o.Sabotage == "stale" {
+	if o.Shared || o.Mutation == "stale" {
 		own.UDP.Mode, own.UDP.Proxy = "shared", true
 	}
 	own.UDP.Silence.After.Duration = 500 * time.Millisecond
 	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
 	s.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
-		Nodes: 1, Sabotage: o.Sabotage, Own: &own, Cores: o.Cores, Sockets: o.Table + 2000})
+		Nodes: 1, Mutation: o.Mutation, Own: &own, Cores: o.Cores, Sockets: o.Table + 2000})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scenario/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -22,12 +22,12 @@
 	Nodes, Voters, Zones, Servers int
 	Rate                          float64  // transactions a second in usual times
 	Steps                         []string // of the script, empty for all; members meet in any case
-	Binary, Sabotage              string   // the agent's binary is beside the node's
+	Binary, Mutation              string   // the agent's binary is beside the node's
 	Progress                      io.Writer
 }
 
-// Sabotages are the guards that the scene can switch off, all in the agent.
-var Sabotages = map[string]string{
+// Mutations are the guards that the scenario can switch off, all in the agent.
+var Mutations = map[string]string{
 	"together":  "each node leaves alone, though it hears the record",
 	"panic":     "zones are left however little is left to carry them",
 	"return":    "a zone is returned to at once, without evidence or budget",
@@ -71,17 +71,17 @@
 // Play plays the scene: feed servers, links, nodes and agents of zones fail in many ways,
 // and the fleet leaves and returns as one.
 func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	if _, ok := Sabotages[o.Sabotage]; o.Sabotage != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Sabotage)
+	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	w := options(o)
-	if o.Sabotage != "" {
+	if o.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		if w.Agent, err = testbed.Sabotaged(ctx, dir, "coralagent"); err != nil {
+		if w.Agent, err = testbed.BuildMutated(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
 	}
@@ -100,7 +100,7 @@
 // options is the scene's world.
 func options(o Options) testbed.Options {
 	w := testbed.Options{Scene: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
-		Binary: o.Binary, Sabotage: o.Sabotage, Progress: o.Progress, Ramp: ramp, Window: window, Hold: 3 * time.Second, Retries: retries}
+		Binary: o.Binary, Mutation: o.Mutation, Progress: o.Progress, Ramp: ramp, Window: window, Hold: 3 * time.Second, Retries: retries}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		f.inquire(h, now)
-		if !h.evidence.Silent(at, f.o.Silence) || mutation.On("silence") {
+		if !h.evidence.Silent(at, f.o.Silence) || mutation.Enabled("silence") {
 			continue
 		}
 		n := f.lose(h)
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -264,7 +264,7 @@
 	switch {
 	case err != nil:
 		return client, nil, false
-	case mutation.On("stale"):
+	case mutation.Enabled("stale"):
 		return client, text, true
 	case !f.table.Valid(r):
 		return client, nil, false
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -257,7 +257,7 @@
 	if ok {
 		f.table.Touch(r, at)
 	} else {
-		if !f.sources.Allow(k, at) && !mutation.On("source") {
+		if !f.sources.Allow(k, at) && !mutation.Enabled("source") {
 			f.Counts.Limited.Add(1)
 			return
 		}
@@ -366,7 +366,7 @@
 		}
 		now := time.Now()
 		f.mu.Lock()
-		if !mutation.On("expiry") {
+		if !mutation.Enabled("expiry") {
 			f.table.Advance(f.now(), expiring, func(r flowtable.Ref) {
 				f.Counts.Expired.Add(1)
 				f.leave(r)
