--- a/balance/handle.go
+++ b/balance/handle.go
@@ -2,8 +2,8 @@
 
 // How events reach what decides, and in which order actions leave. Nothing is decided
 // here: the files that decide are named under policy in deploy/balancer.toml, in the
-// order of a request's life turn.go, draw.go, bounds.go, probe.go, cold.go, homes.go,
-// place.go, relief.go, and list.go for the servers themselves.
+// order of a request's life admission.go, draw.go, constraints.go, probe.go,
+// slowstart.go, affinity.go, placement.go, rebalance.go, and endpoints.go for the servers themselves.
 
 import (
 	"math"
