Packages logs and tally are one: logging

zap behind slog and the throttle for floods of lines are one concern; Tally is Throttled, Set is Setup, the level is private behind SetLevel. Behaviour as before: its test, dispatch's and vet pass.

--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -18,7 +18,7 @@
 	"coralrelay/internal/fleet/agent"
 	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/fleet/gossip"
-	"coralrelay/internal/logs"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/mutation"
 	"coralrelay/internal/operatorconfig"
 )
@@ -31,7 +31,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	logs.Set(os.Stderr, false)
+	logging.Setup(os.Stderr, false)
 	var c cli
 	kong.Parse(&c, kong.Name("coralagent"),
 		kong.Description("The agent beside one node, through which nodes share limits and verdicts. docs/operate/fleet-limits.md has its keys."))
@@ -46,8 +46,8 @@
 	if err != nil {
 		return err
 	}
-	logs.Set(os.Stderr, own.Log.Format == "json")
-	if err := logs.SetLevel(own.Log.Level); err != nil {
+	logging.Setup(os.Stderr, own.Log.Format == "json")
+	if err := logging.SetLevel(own.Log.Level); err != nil {
 		return err
 	}
 	f := own.Fleet
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 
 	"coralrelay/internal/config"
-	"coralrelay/internal/logs"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/operatorconfig"
 )
 
@@ -40,7 +40,7 @@
 	signal.Notify(hangUps, syscall.SIGHUP)
 	// Never given back: another one in the last moment would cut the end in good order short.
 	terminate, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	logs.Set(os.Stderr, false)
+	logging.Setup(os.Stderr, false)
 	if err := command(os.Args[1:], os.Stdout, func(file string) error { return start(terminate, hangUps, file) }); err != nil {
 		slog.Error("coralrelay", "err", err)
 		os.Exit(1)
@@ -61,8 +61,8 @@
 		if own, err = operatorconfig.Load(file); err != nil {
 			return err
 		}
-		logs.Set(os.Stderr, own.Log.Format == "json")
-		if err := logs.SetLevel(own.Log.Level); err != nil {
+		logging.Setup(os.Stderr, own.Log.Format == "json")
+		if err := logging.SetLevel(own.Log.Level); err != nil {
 			return err
 		}
 	}
--- a/cmd/coralrelay/reload.go
+++ b/cmd/coralrelay/reload.go
@@ -5,7 +5,7 @@
 	"log/slog"
 	"os"
 
-	"coralrelay/internal/logs"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/operatorconfig"
 )
 
@@ -36,7 +36,7 @@
 	if fixed := own.Fixed(&next); len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
-	if err := logs.SetLevel(next.Log.Level); err != nil {
+	if err := logging.SetLevel(next.Log.Level); err != nil {
 		slog.Error("reload", "err", err)
 	}
 	if err := r.change(next.Resume); err != nil {
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -11,8 +11,8 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/route"
-	"coralrelay/internal/tally"
 )
 
 const (
@@ -33,7 +33,7 @@
 	gathered agentapi.Gathering
 	table    *route.Table // nil for none
 	word     int64        // half epoch that the agent was last told of
-	bad      tally.Tally
+	bad      logging.Throttled
 
 	// Of the Core's goroutine.
 	inForce *route.Table
--- a/internal/admin/mgmt.go
+++ b/internal/admin/mgmt.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"coralrelay/internal/bufconn"
-	"coralrelay/internal/tally"
+	"coralrelay/internal/logging"
 )
 
 const (
@@ -43,7 +43,7 @@
 type Server struct {
 	node  Node
 	slots chan struct{} // a caller each
-	bad   tally.Tally
+	bad   logging.Throttled
 
 	mu     sync.Mutex
 	silent []net.Conn // have not said a whole line yet, the oldest first
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"coralrelay/balance"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/route"
-	"coralrelay/internal/tally"
 )
 
 // looks is how old the module's word on what it avoids may be.
@@ -34,7 +34,7 @@
 	roster   Roster
 	inbox    chan func()
 	done     chan struct{}
-	bad      tally.Tally
+	bad      logging.Throttled
 	avoided  atomic.Int64 // next hops that the module avoids, by its last word
 
 	// What follows belongs to Run's goroutine.
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"coralrelay/balance"
-	"coralrelay/internal/logs"
+	"coralrelay/internal/logging"
 )
 
 // One transaction can be followed by its id: its branches in order, where they went, how
@@ -16,10 +16,10 @@
 func TestTrace(t *testing.T) {
 	var out bytes.Buffer
 	was := slog.Default()
-	t.Cleanup(func() { slog.SetDefault(was); _ = logs.SetLevel("info") })
-	logs.Set(&out, false)
+	t.Cleanup(func() { slog.SetDefault(was); _ = logging.SetLevel("info") })
+	logging.Setup(&out, false)
 	for _, level := range []string{"info", "debug"} {
-		if err := logs.SetLevel(level); err != nil {
+		if err := logging.SetLevel(level); err != nil {
 			t.Fatal(err)
 		}
 		c, p := start(t)
--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -11,9 +11,9 @@
 
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/lineproto"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/proxy"
-	"coralrelay/internal/tally"
 )
 
 // Decider takes transactions; each is then owed one final answer. *decide.Core does.
@@ -49,8 +49,8 @@
 	branches dispatch.Branches // to next hops of the line protocol
 	limits   Limits
 	pause    atomic.Int64 // limits.Pause, which may change
-	bad      tally.Tally
-	failed   tally.Tally
+	bad      logging.Throttled
+	failed   logging.Throttled
 	freed    chan struct{} // a leg has ended: there may be room for another
 
 	mu       sync.Mutex
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,6 +1,6 @@
-// Package logs sets up structured logs: zap behind log/slog, so that call sites
-// know slog alone.
-package logs
+// Package logging sets up structured logs, zap behind log/slog, so that call sites know
+// slog alone; and it throttles lines that may come in floods. It starts no goroutine.
+package logging
 
 import (
 	"io"
@@ -11,29 +11,31 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// Level can be changed while the program runs.
-var Level = zap.NewAtomicLevelAt(zapcore.InfoLevel)
+// level can be changed while the program runs.
+var level = zap.NewAtomicLevelAt(zapcore.InfoLevel)
 
-// Set makes w the default log's target, as text or JSON.
-func Set(w io.Writer, json bool) {
-	c := zap.NewProductionEncoderConfig()
-	c.EncodeTime = zapcore.ISO8601TimeEncoder
-	c.EncodeDuration = zapcore.StringDurationEncoder
-	c.EncodeLevel = zapcore.CapitalLevelEncoder
-	encoder := zapcore.NewConsoleEncoder(c)
+// Setup makes w the target of slog's default logger, as lines of text or of JSON.
+func Setup(w io.Writer, json bool) {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	config.EncodeLevel = zapcore.CapitalLevelEncoder
+	encoder := zapcore.NewConsoleEncoder(config)
 	if json {
-		c.EncodeLevel = zapcore.LowercaseLevelEncoder
-		encoder = zapcore.NewJSONEncoder(c)
+		config.EncodeLevel = zapcore.LowercaseLevelEncoder
+		encoder = zapcore.NewJSONEncoder(config)
 	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), Level)
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level)
 	slog.SetDefault(slog.New(zapslog.NewHandler(core, zapslog.AddStacktraceAt(slog.LevelError+1))))
 }
 
-// SetLevel changes the level: debug, info, warn or error.
+// SetLevel changes the least level that is logged: debug, info, warn or error. Any other
+// name is an error and changes nothing.
 func SetLevel(name string) error {
-	l, err := zapcore.ParseLevel(name)
-	if err == nil {
-		Level.SetLevel(l)
+	parsed, err := zapcore.ParseLevel(name)
+	if err != nil {
+		return err
 	}
-	return err
+	level.SetLevel(parsed)
+	return nil
 }
--- a/internal/logging/throttled.go
+++ b/internal/logging/throttled.go
@@ -1,6 +1,4 @@
-// Package tally keeps the log readable, and cheap, where a line may come in
-// floods: bad callers send thousands.
-package tally
+package logging
 
 import (
 	"log/slog"
@@ -8,28 +6,32 @@
 	"time"
 )
 
-// every is the least time between two lines of one Tally.
-const every = 10 * time.Second
+// throttleInterval is the least time between two lines of one Throttled.
+const throttleInterval = 10 * time.Second
 
-// Tally logs one kind of event: the first at once, later ones as a count with
-// the latest as an example. Its zero value is ready to use.
-type Tally struct {
-	mu    sync.Mutex
-	count int
-	next  time.Time // no line before
+// Throttled logs one kind of event that may come in floods, such as malformed input of
+// clients: the first at once, later ones as a count, with the latest as the example. zap's
+// own sampler drops lines without a count. The zero value is ready to use, by several
+// goroutines at once.
+type Throttled struct {
+	mu     sync.Mutex
+	count  int
+	nextAt time.Time // no line before
 }
 
-// Warn counts the event, and logs it if no other was logged of late.
-func (t *Tally) Warn(text string, args ...any) {
+// Warn counts the event, and logs it as a warning, with the count of events since the last
+// line, unless a line was logged within the last ten seconds.
+func (t *Throttled) Warn(message string, attributes ...any) {
 	now := time.Now()
 	t.mu.Lock()
 	t.count++
 	count := t.count
-	if now.Before(t.next) {
+	if now.Before(t.nextAt) {
 		t.mu.Unlock()
 		return
 	}
-	t.count, t.next = 0, now.Add(every)
+	t.count = 0
+	t.nextAt = now.Add(throttleInterval)
 	t.mu.Unlock()
-	slog.Warn(text, append(args, "count", count)...)
+	slog.Warn(message, append(attributes, "count", count)...)
 }
--- a/internal/logging/throttled_test.go
+++ b/internal/logging/throttled_test.go
@@ -1,4 +1,4 @@
-package tally
+package logging
 
 import (
 	"bytes"
@@ -7,18 +7,18 @@
 	"testing"
 )
 
-// A flood costs one line, and the next line tells how many there were.
-func TestWarn(t *testing.T) {
+// A flood costs one line, and the next line has the count of what was not logged.
+func TestFloodIsLoggedAsCount(t *testing.T) {
 	var log bytes.Buffer
-	was := slog.Default()
+	previous := slog.Default()
 	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
-	defer slog.SetDefault(was)
-	var bad Tally
+	defer slog.SetDefault(previous)
+	var rejected Throttled
 	for range 1000 {
-		bad.Warn("rejected")
+		rejected.Warn("rejected")
 	}
-	bad.next = bad.next.Add(-every)
-	bad.Warn("rejected")
+	rejected.nextAt = rejected.nextAt.Add(-throttleInterval)
+	rejected.Warn("rejected")
 	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
 	if len(lines) != 2 || !strings.Contains(lines[0], "count=1") || !strings.Contains(lines[1], "count=1000") {
 		t.Errorf("logged %q", lines)
--- a/internal/replayguard/ledger.go
+++ b/internal/replayguard/ledger.go
@@ -15,10 +15,10 @@
 	"sync/atomic"
 	"time"
 
+	"coralrelay/internal/logging"
 	"coralrelay/internal/mutation"
 	"coralrelay/internal/resumetoken"
 	"coralrelay/internal/store"
-	"coralrelay/internal/tally"
 )
 
 // FileName is the ledger's file in its folder.
@@ -174,7 +174,7 @@
 	store   *store.Store
 	writer  *store.Writer
 	arbiter resumetoken.Arbiter
-	failed  tally.Tally
+	failed  logging.Throttled
 	cheat   map[resumetoken.Nonce]resumetoken.Claimant // mutation: records that are not written
 }
 
--- a/internal/replayguard/peer.go
+++ b/internal/replayguard/peer.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/logging"
 	"coralrelay/internal/resumetoken"
-	"coralrelay/internal/tally"
 )
 
 const (
@@ -31,7 +31,7 @@
 type Peer struct {
 	Name, Addr string
 	ring       func() *resumetoken.Ring
-	bad        tally.Tally
+	bad        logging.Throttled
 
 	mu     sync.Mutex
 	link   *link // nil while there is no connection
--- a/internal/replayguard/server.go
+++ b/internal/replayguard/server.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"coralrelay/internal/logging"
 	"coralrelay/internal/resumetoken"
-	"coralrelay/internal/tally"
 )
 
 const (
@@ -32,7 +32,7 @@
 	Name   string
 	Ledger *Ledger
 	Ring   func() *resumetoken.Ring
-	bad    tally.Tally
+	bad    logging.Throttled
 }
 
 // Serve answers until ctx ends; it closes the listener.
--- a/internal/replayguard/service.go
+++ b/internal/replayguard/service.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"coralrelay/internal/logging"
 	"coralrelay/internal/mutation"
 	"coralrelay/internal/resumetoken"
-	"coralrelay/internal/tally"
 )
 
 // retry is the pause before a question that found no connection is put again.
@@ -30,7 +30,7 @@
 	peers   map[string]*Peer
 	terms   atomic.Pointer[Terms]
 	leaving atomic.Bool
-	failed  tally.Tally
+	failed  logging.Throttled
 	Counts  Counts
 }
 
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -20,8 +20,8 @@
 	"coralrelay/balance"
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/flowtable"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/mutation"
-	"coralrelay/internal/tally"
 )
 
 const (
@@ -97,7 +97,7 @@
 	packets *ipv4.PacketConn
 	start   time.Time
 	Counts  Counts
-	failed  tally.Tally
+	failed  logging.Throttled
 
 	mu       sync.Mutex
 	table    *flowtable.Table
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -12,7 +12,7 @@
 	"coralrelay/balance"
 	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
-	"coralrelay/internal/tally"
+	"coralrelay/internal/logging"
 )
 
 // Watcher is told what becomes of branches and probes. A branch's socket is
@@ -41,7 +41,7 @@
 	ctx    context.Context // ends every probe connection
 	limits atomic.Pointer[Limits]
 	watch  Watcher
-	bad    tally.Tally
+	bad    logging.Throttled
 
 	mu   sync.Mutex
 	hops map[string]*hop
