--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -202,10 +202,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var parts sync.WaitGroup
 	to, dir := make(taker, 1), t.TempDir()
-	if err := hotrestart.Serve(ctx, &parts, dir, "n0", to); err != nil {
+	if err := hotrestart.Listen(ctx, &parts, dir, "n0", to); err != nil {
 		t.Fatal(err)
 	}
-	g, err := hotrestart.Give(dir, "n0")
+	g, err := hotrestart.Dial(dir, "n0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -67,8 +67,8 @@
 }
 
 // heir is the successor that takes what stands, or nil: then it is moved.
-func heir(place *instancelock.Place) *hotrestart.Giver {
-	g, err := hotrestart.Give(os.TempDir(), place.Other())
+func heir(place *instancelock.Place) *hotrestart.Sender {
+	g, err := hotrestart.Dial(os.TempDir(), place.Other())
 	if err != nil {
 		slog.Warn("what stands is moved", "err", err)
 		return nil
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -110,7 +110,7 @@
 		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
-		if err := hotrestart.Serve(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
+		if err := hotrestart.Listen(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
 	}
@@ -150,7 +150,7 @@
 		_ = listener.Close()
 		plan.Refuse, plan.From = plan.End, begun
 		if g := heir(place); g != nil {
-			g.Tell(core.Recall())
+			g.SendLearnedState(core.Recall())
 			plan.Heir = g
 			defer g.Close()
 		}
--- a/internal/hotrestart/giver.go
+++ b/internal/hotrestart/giver.go
@@ -16,14 +16,14 @@
 
 // Giver hands connections to the process that serves at a name in a folder. It is an
 // exchange.Heir; once something has failed, it gives nothing more.
-type Giver struct {
+type Sender struct {
 	mu   sync.Mutex
 	conn *net.UnixConn // nil once it has failed
 }
 
 // Give connects to the taker.
-func Give(dir, name string) (*Giver, error) {
-	g := &Giver{}
+func Dial(dir, name string) (*Sender, error) {
+	g := &Sender{}
 	return g, socket(dir, name, func(addr *net.UnixAddr) (err error) {
 		if g.conn, err = net.DialUnix("unixpacket", nil, addr); err == nil && !own(g.conn) {
 			g.Close()
@@ -36,7 +36,7 @@
 // Take hands one connection over, within a time that its wait for others counts in. The
 // transaction closes its copies then. If it is false, the taker has neither read nor
 // written anything, and never will.
-func (g *Giver) Take(s proxy.Standing, caller, hop net.Conn) bool {
+func (g *Sender) Take(s proxy.Standing, caller, hop net.Conn) bool {
 	text, err := json.Marshal(s)
 	if err != nil || len(text) > largest {
 		return false
@@ -57,7 +57,7 @@
 
 // Tell passes on what this process has learned. It is called before connections follow,
 // and takes no longer than one of them may.
-func (g *Giver) Tell(m balance.Memory) {
+func (g *Sender) SendLearnedState(m balance.Memory) {
 	until := time.Now().Add(within)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -78,7 +78,7 @@
 
 // ask has a message written and returns the taker's word on it, under the lock; empty if
 // none came in time.
-func (g *Giver) ask(until time.Time, write func() error) string {
+func (g *Sender) ask(until time.Time, write func() error) string {
 	if g.conn == nil || !time.Now().Before(until) {
 		return ""
 	}
@@ -101,7 +101,7 @@
 // commit lets go of what was offered, under the lock and before ask's deadline. A message
 // that was written lies with the taker, who reads all there is before it gives up; one
 // that was not never comes.
-func (g *Giver) commit() bool {
+func (g *Sender) commit() bool {
 	_, err := g.conn.Write([]byte(commit))
 	if err != nil {
 		g.fail(err)
@@ -109,14 +109,14 @@
 	return err == nil
 }
 
-func (g *Giver) fail(err error) {
+func (g *Sender) fail(err error) {
 	slog.Warn("handover: what is left is moved", "err", err)
 	_ = g.conn.Close()
 	g.conn = nil
 }
 
 // Close ends the giving; what was handed over stays so.
-func (g *Giver) Close() {
+func (g *Sender) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.conn != nil {
--- a/internal/hotrestart/giver_test.go
+++ b/internal/hotrestart/giver_test.go
@@ -71,8 +71,8 @@
 	for i := range 1000 {
 		m.Servers = append(m.Servers, balance.KnownServer{ID: fmt.Sprint("s-", i, strings.Repeat("x", 100)), Started: time.Hour, Load: -1, Sent: 1.0 / 3})
 	}
-	g.Tell(m)
-	g.Tell(balance.Memory{Usual: 0.25, Answers: 1}) // of no fleet
+	g.SendLearnedState(m)
+	g.SendLearnedState(balance.Memory{Usual: 0.25, Answers: 1}) // of no fleet
 	caller, _ := pair(t)
 	hop, _ := pair(t)
 	if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
@@ -142,7 +142,7 @@
 			}
 		})
 	}
-	if g, err := Give(t.TempDir(), "node.1"); err == nil {
+	if g, err := Dial(t.TempDir(), "node.1"); err == nil {
 		g.Close()
 		t.Error("there is nobody to give to")
 	}
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -74,11 +74,11 @@
 }
 
 // serve starts a taker, and returns what ends it.
-func serve(t *testing.T, dir string, k Taker) (end func()) {
+func serve(t *testing.T, dir string, k Receiver) (end func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	if err := Serve(ctx, &parts, dir, "node.1", k); err != nil {
+	if err := Listen(ctx, &parts, dir, "node.1", k); err != nil {
 		t.Fatal(err)
 	}
 	end = func() { cancel(); parts.Wait() }
@@ -91,9 +91,9 @@
 	return end
 }
 
-func give(t *testing.T, dir string) *Giver {
+func give(t *testing.T, dir string) *Sender {
 	t.Helper()
-	g, err := Give(dir, "node.1")
+	g, err := Dial(dir, "node.1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/hotrestart/limits_test.go
+++ b/internal/hotrestart/limits_test.go
@@ -67,7 +67,7 @@
 		m.Servers = append(m.Servers, balance.KnownServer{ID: fmt.Sprint("s", i)})
 	}
 	begun := time.Now()
-	g.Tell(m)
+	g.SendLearnedState(m)
 	if took := time.Since(begun); took > 2*within {
 		t.Errorf("it took %v", took)
 	}
@@ -124,7 +124,7 @@
 	g := give(t, dir)
 	caller, client := pair(t)
 	hop, feed := pair(t)
-	g.Tell(balance.Memory{}) // so that the taker has accepted
+	g.SendLearnedState(balance.Memory{}) // so that the taker has accepted
 	free := fill(t)
 	for left := range 4 {
 		before := count()
@@ -165,7 +165,7 @@
 	var parts sync.WaitGroup
 	k := &taker{wants: true}
 	defer k.close()
-	if err := Serve(ctx, &parts, dir, "node.1", k); err != nil {
+	if err := Listen(ctx, &parts, dir, "node.1", k); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
@@ -179,7 +179,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &Giver{conn: conn}
+	g := &Sender{conn: conn}
 	defer g.Close()
 	for tried := false; !tried; {
 		select {
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -106,7 +106,7 @@
 			t.Errorf("%s: taken: %v", answer, yes)
 		}
 	}
-	go func() { g.Tell(storedMemory); took <- true }()
+	go func() { g.SendLearnedState(storedMemory); took <- true }()
 	expectMessage("lesson.json", "taken")
 	wait(t, took)
 }
--- a/internal/hotrestart/taker.go
+++ b/internal/hotrestart/taker.go
@@ -24,14 +24,14 @@
 // Taker goes on with connections, and by what the other process has learned. Adopt takes
 // one that its giver still holds: nothing is read or written before s.Hold is committed.
 // If it is false, the connections are the caller's to close.
-type Taker interface {
+type Receiver interface {
 	Adopt(s proxy.Standing, caller, hop net.Conn) bool
 	Learn(m balance.Memory)
 }
 
 // Serve takes connections at a name in a folder, until ctx ends. What an earlier process
 // has left there goes: the name is this one's own.
-func Serve(ctx context.Context, parts *sync.WaitGroup, dir, name string, to Taker) error {
+func Listen(ctx context.Context, parts *sync.WaitGroup, dir, name string, to Receiver) error {
 	return socket(dir, name, func(addr *net.UnixAddr) error {
 		if err := os.Remove(addr.Name); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return err
@@ -61,7 +61,7 @@
 }
 
 // take takes connections from one giver until it ends.
-func take(ctx context.Context, conn *net.UnixConn, to Taker) {
+func take(ctx context.Context, conn *net.UnixConn, to Receiver) {
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseRead() }) // what was committed before still counts
 	defer stop()
@@ -140,7 +140,7 @@
 }
 
 // learn passes on what a message says was learned.
-func learn(message []byte, to Taker) error {
+func learn(message []byte, to Receiver) error {
 	var l lesson
 	if err := json.Unmarshal(message, &l); err != nil {
 		return err
@@ -153,7 +153,7 @@
 }
 
 // prepare has one connection adopted, and held until the giver has let go of it.
-func prepare(message, rights []byte, whole bool, to Taker) (*proxy.Hold, error) {
+func prepare(message, rights []byte, whole bool, to Receiver) (*proxy.Hold, error) {
 	conns, err := received(rights)
 	if err == nil && !whole {
 		err = errors.New("a message came cut off")
