--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -58,8 +58,8 @@
 	}
 	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.Record.Dir, Bind: f.Record.Bind, Advertise: f.Record.Advertise,
 		Voters: voters, Key: key, Genesis: logentry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.Record.Lease.Duration,
-		Peers: peers, Log: toLog{}, Ignore: replog.Guards{Commit: mutation.Enabled("commit"), Chain: mutation.Enabled("chain"),
-			Sync: mutation.Enabled("sync"), Stale: mutation.Enabled("stale")}})
+		Peers: peers, RaftLog: toLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
+			SkipDiskSync: mutation.Enabled("sync"), AlwaysFresh: mutation.Enabled("stale")}})
 	if err != nil {
 		return err
 	}
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -27,9 +27,9 @@
 
 func (h *writ) View() replog.View        { return *h.view.Load() }
 func (h *writ) Changed() <-chan struct{} { return nil }
-func (h *writ) Leads() bool              { return false }
+func (h *writ) IsLeader() bool           { return false }
 func (h *writ) Propose(context.Context, logentry.Entry) (o logentry.Outcome, err error) {
-	return o, replog.ErrUnknown
+	return o, replog.ErrOutcomeUnknown
 }
 
 // asker is an item whose answer is one word.
@@ -77,7 +77,7 @@
 			return &logentry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
 		}
 		log, state := &writ{}, tree(0, -1)
-		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, Heard: time.Now()}) }
+		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, ConfirmedAt: time.Now()}) }
 		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
 			Member: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, quota.Guards{}, clock)})
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -25,7 +25,7 @@
 	View() replog.View
 	Changed() <-chan struct{}
 	Propose(context.Context, logentry.Entry) (logentry.Outcome, error)
-	Leads() bool
+	IsLeader() bool
 }
 
 // Options say what an agent is made of.
@@ -125,13 +125,13 @@
 	a.mu.Lock()
 	a.given = d
 	a.mu.Unlock()
-	if a.Zones != nil && a.Record != nil && a.Record.Leads() {
+	if a.Zones != nil && a.Record != nil && a.Record.IsLeader() {
 		a.lead(ctx, now, state, proposals)
 	}
 	if a.Accounts != nil {
 		a.tables.renew(now, v.State)
 	}
-	a.keep(ctx, now, v, a.Record != nil && a.Record.Leads(), proposals)
+	a.keep(ctx, now, v, a.Record != nil && a.Record.IsLeader(), proposals)
 }
 
 // hears tells whether the record's word holds, and says when it begins or ends not to.
@@ -146,8 +146,8 @@
 		if v.State != nil {
 			index = v.State.Index
 		}
-		if !v.Heard.IsZero() {
-			age = time.Since(v.Heard).Round(time.Millisecond).String()
+		if !v.ConfirmedAt.IsZero() {
+			age = time.Since(v.ConfirmedAt).Round(time.Millisecond).String()
 		}
 		slog.Info("fleet: zones: the record is not heard, this member goes by its last word and by what its node sees", "index", index, "heard", age)
 	}
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -83,7 +83,7 @@
 				w.write("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
 				w.ledger.change(func(v *replog.View) {
 					if v.Fresh = fresh; fresh {
-						v.Heard = time.Now()
+						v.ConfirmedAt = time.Now()
 					}
 				})
 			}
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -48,7 +48,7 @@
 	e.By = a.Name
 	if ask.Ask == "propose" {
 		o, err := a.Record.Propose(ctx, e)
-		if errors.Is(err, replog.ErrUnknown) {
+		if errors.Is(err, replog.ErrOutcomeUnknown) {
 			err = &agentapi.Refusal{Text: err.Error(), Unknown: true}
 		}
 		return Outcome{o}, err
@@ -93,9 +93,9 @@
 		s.Record = a.Why
 	} else {
 		v := a.Record.View()
-		s.Role, s.Leader, s.Fresh, s.Disk = v.Role, v.Leader, v.Fresh, v.Disk
-		if !v.Heard.IsZero() {
-			s.Heard = time.Since(v.Heard).Milliseconds()
+		s.Role, s.Leader, s.Fresh, s.Disk = v.Role, v.Leader, v.Fresh, v.DiskError
+		if !v.ConfirmedAt.IsZero() {
+			s.Heard = time.Since(v.ConfirmedAt).Milliseconds()
 		}
 		if v.State != nil {
 			s.Index, s.Hash, s.Version = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -163,10 +163,10 @@
 	switch {
 	case v.Fresh:
 		return false
-	case v.Heard.IsZero():
+	case v.ConfirmedAt.IsZero():
 		return now-a.began >= hold
 	}
-	return time.Since(v.Heard) >= hold
+	return time.Since(v.ConfirmedAt) >= hold
 }
 
 // among is what an even part is a part of: what it was at the last deal.
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -61,7 +61,7 @@
 	l.woken = make(chan struct{})
 }
 
-func (l *ledger) Leads() bool { return l.View().Fresh }
+func (l *ledger) IsLeader() bool { return l.View().Fresh }
 
 func (l *ledger) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
 	l.mu.Lock()
@@ -72,7 +72,7 @@
 	defer func() { l.mu.Lock(); l.asked--; l.mu.Unlock() }()
 	if stuck {
 		<-ctx.Done()
-		return o, fmt.Errorf("%w: %w", replog.ErrUnknown, ctx.Err())
+		return o, fmt.Errorf("%w: %w", replog.ErrOutcomeUnknown, ctx.Err())
 	}
 	time.Sleep(20 * time.Millisecond)
 	raw, err := json.Marshal(e)
--- a/internal/fleet/replog/cluster_test.go
+++ b/internal/fleet/replog/cluster_test.go
@@ -30,7 +30,7 @@
 }
 
 type member struct {
-	*Record
+	*Replica
 	o    Options
 	full atomic.Bool // its disk
 	end  context.CancelFunc
@@ -59,7 +59,7 @@
 	f.t.Helper()
 	m := &member{done: make(chan struct{})}
 	m.o = Options{Name: name, Dir: filepath.Join(f.t.TempDir(), name), Bind: bind, Voters: f.voters, Key: []byte("0123456789abcdef"),
-		Fault: func(op string) error {
+		InjectFault: func(op string) error {
 			if m.full.Load() {
 				return errors.New("disk full")
 			}
@@ -72,7 +72,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	m.Record = r
+	m.Replica = r
 	ctx, end := context.WithCancel(context.Background())
 	m.end = end
 	go func() { defer close(m.done); _ = r.Run(ctx) }()
@@ -129,7 +129,7 @@
 		wg.Go(func() {
 			for {
 				woken := m.Changed()
-				if v := m.View(); m.Leads() && v.Fresh {
+				if v := m.View(); m.IsLeader() && v.Fresh {
 					found <- m
 					return
 				}
--- a/internal/fleet/replog/commit_test.go
+++ b/internal/fleet/replog/commit_test.go
@@ -74,7 +74,7 @@
 	f.until(a, "fresh again", func(v View) bool { return v.Fresh && v.Leader == next.o.Name })
 	if got := next.View().State.Zones.Version; err == nil && (!out.Taken || got <= version) {
 		t.Errorf("answered %+v, and the new leader is at version %d of %d", out, got, version)
-	} else if err != nil && !errors.Is(err, ErrUnknown) && got != version {
+	} else if err != nil && !errors.Is(err, ErrOutcomeUnknown) && got != version {
 		t.Errorf("%v, but it was taken", err)
 	}
 }
--- a/internal/fleet/replog/disk.go
+++ b/internal/fleet/replog/disk.go
@@ -56,17 +56,17 @@
 func openDisk(o *Options, sever func()) (d *disk, why string, err error) {
 	path := filepath.Join(o.Dir, "votes.db")
 	for range 2 {
-		if err := o.Fault("open"); err != nil {
+		if err := o.InjectFault("open"); err != nil {
 			return nil, "", err
 		}
-		st, err := store.Open(path, votesSchema, store.Options{NoSync: o.Ignore.Sync})
+		st, err := store.Open(path, votesSchema, store.Options{NoSync: o.Mutations.SkipDiskSync})
 		if err != nil {
 			return nil, "", err
 		}
 		if st.Aside != "" {
 			why = fmt.Sprintf("%v; it is now %s", st.Why, st.Aside)
 		}
-		d = &disk{st: st, fault: o.Fault, sever: sever, broken: make(chan struct{}), logs: map[uint64]*raft.Log{},
+		d = &disk{st: st, fault: o.InjectFault, sever: sever, broken: make(chan struct{}), logs: map[uint64]*raft.Log{},
 			stable: map[string][]byte{}, founders: map[string]string{}}
 		bad := d.read()
 		if bad == nil {
--- a/internal/fleet/replog/disk_test.go
+++ b/internal/fleet/replog/disk_test.go
@@ -24,14 +24,14 @@
 		}
 	}
 	next := f.leader(old)
-	f.until(old, "in memory", func(v View) bool { return v.Role == "memory" && v.Disk != "" })
+	f.until(old, "in memory", func(v View) bool { return v.Role == "memory" && v.DiskError != "" })
 	last := f.propose(a)
 	f.all("at what was decided without it", reached(last.Index))
-	if old.Leads() || old.View().Role != "memory" {
+	if old.IsLeader() || old.View().Role != "memory" {
 		t.Errorf("%s: %+v", old.o.Name, old.View())
 	}
 	old.full.Store(false)
-	f.until(old, "a voter again", func(v View) bool { return v.Role == "voter" && v.Disk == "" })
+	f.until(old, "a voter again", func(v View) bool { return v.Role == "voter" && v.DiskError == "" })
 	next.kill() // now its vote is needed
 	f.leader(next)
 	if out := f.propose(a); out.Index != last.Index+1 {
@@ -108,7 +108,7 @@
 }
 
 func TestDiskKeeps(t *testing.T) {
-	o := Options{Dir: t.TempDir(), Fault: func(string) error { return nil }}
+	o := Options{Dir: t.TempDir(), InjectFault: func(string) error { return nil }}
 	open := func() *disk {
 		d, why, err := openDisk(&o, func() {})
 		if err != nil || why != "" {
--- a/internal/fleet/replog/enter.go
+++ b/internal/fleet/replog/enter.go
@@ -36,7 +36,7 @@
 // enter returns when this voter's store may vote. A store that has promised something may.
 // A blank one may be one of the first, or in the place of one that was lost, whose promises
 // nobody knows any more: then the leader takes this member back as one without a vote.
-func (r *Record) enter(ctx context.Context, d *disk) error {
+func (r *Replica) enter(ctx context.Context, d *disk) error {
 	if !d.blank() {
 		return nil
 	}
@@ -70,7 +70,7 @@
 
 // look asks all voters. It returns the founding stores if this one is among them, or if all
 // are there and blank; lost tells that the fleet was founded with another in its place.
-func (r *Record) look(ctx context.Context, id string) (founders map[string]string, lost bool, waits string) {
+func (r *Replica) look(ctx context.Context, id string) (founders map[string]string, lost bool, waits string) {
 	all := map[string]string{r.me.Name: id}
 	if r.View().State.Index > 0 {
 		waits = "this member knows of entries, so the fleet was founded before"
@@ -99,7 +99,7 @@
 	return all, false, ""
 }
 
-func (r *Record) configuration() (c raft.Configuration) {
+func (r *Replica) configuration() (c raft.Configuration) {
 	for _, v := range r.o.Voters {
 		c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(v.Name), Address: raft.ServerAddress(v.Addr)})
 	}
@@ -107,7 +107,7 @@
 }
 
 // back asks the voters until one of them, the leader, has taken this member back; else why not.
-func (r *Record) back(ctx context.Context) (waits string) {
+func (r *Replica) back(ctx context.Context) (waits string) {
 	waits = "its store was lost, and no leader takes it back"
 	for _, v := range r.o.Voters {
 		if v.Name == r.me.Name {
@@ -122,7 +122,7 @@
 
 // askVote asks for this member's vote, if it has none: it gets it once it holds all that the
 // leader had when it was taken back.
-func (r *Record) askVote(ctx context.Context, ra *raft.Raft) {
+func (r *Replica) askVote(ctx context.Context, ra *raft.Raft) {
 	if leader, _ := ra.LeaderWithID(); leader != "" && !hasVote(ra, r.me.Name) {
 		_, _ = r.ask(ctx, string(leader), ask{Want: wantVote, Name: r.me.Name, Applied: ra.AppliedIndex()})
 	}
@@ -141,7 +141,7 @@
 	return false
 }
 
-func (r *Record) ask(ctx context.Context, addr string, q ask) (m mine, err error) {
+func (r *Replica) ask(ctx context.Context, addr string, q ask) (m mine, err error) {
 	c, err := r.port.dial(ctx, addr, forAsk, r.o.silence())
 	if err != nil {
 		return m, err
@@ -156,7 +156,7 @@
 }
 
 // answerAsk serves another member's question.
-func (r *Record) answerAsk(c *conn) {
+func (r *Replica) answerAsk(c *conn) {
 	var q ask
 	if hearJSON(c, msgAsk, &q) != nil {
 		return
@@ -174,9 +174,9 @@
 
 // seat changes raft's members for a voter that has lost its store. Its vote is taken from it
 // before it runs raft again, so that no majority counts what it has forgotten.
-func (r *Record) seat(q ask) error {
+func (r *Replica) seat(q ask) error {
 	ra := r.raft.Load()
-	if ra == nil || !r.Leads() {
+	if ra == nil || !r.IsLeader() {
 		return errNotLeader
 	}
 	v, ok := r.o.voter(q.Name)
--- a/internal/fleet/replog/follow.go
+++ b/internal/fleet/replog/follow.go
@@ -23,14 +23,14 @@
 )
 
 // follow keeps this member fed by another, unless it leads.
-func (r *Record) follow(ctx context.Context) {
+func (r *Replica) follow(ctx context.Context) {
 	shy := map[string]time.Time{} // who failed of late is asked last
 	for ctx.Err() == nil {
 		hooked, cancel := context.WithCancel(ctx)
 		r.mu.Lock()
 		r.unhook = cancel
 		r.mu.Unlock()
-		if r.Leads() {
+		if r.IsLeader() {
 			<-hooked.Done() // whoever leads no more is told so
 		} else if !r.round(hooked, shy) {
 			select {
@@ -43,7 +43,7 @@
 }
 
 // round asks one member after the other until one has fed this one, and tells whether one has.
-func (r *Record) round(ctx context.Context, shy map[string]time.Time) bool {
+func (r *Replica) round(ctx context.Context, shy map[string]time.Time) bool {
 	queue, suit := order(r.me.Name, r.o.Voters, r.o.Peers(), r.View().Leader)
 	suits := map[string]bool{}
 	for _, p := range queue[:suit] {
@@ -87,7 +87,7 @@
 
 // attach follows one member until that ends, and tells whether a fresh word came from it; if
 // it has no room, who may. One that does not suit is left after a time, without an error.
-func (r *Record) attach(ctx context.Context, p Peer, suits bool) (fed bool, others []Peer, err error) {
+func (r *Replica) attach(ctx context.Context, p Peer, suits bool) (fed bool, others []Peer, err error) {
 	c, err := r.port.dial(ctx, p.Addr, forFollow, r.o.silence()/2)
 	if err != nil {
 		return false, nil, err
@@ -98,7 +98,7 @@
 }
 
 // listen is attach once the member is called. It alone reads from c and writes to it.
-func (r *Record) listen(ctx context.Context, c *conn, p Peer, suits bool) (fed bool, others []Peer, err error) {
+func (r *Replica) listen(ctx context.Context, c *conn, p Peer, suits bool) (fed bool, others []Peer, err error) {
 	s := r.hub.view.Load().State
 	var numbers sentNumbers
 	numbers.next()
@@ -164,7 +164,7 @@
 }
 
 // takeEntry applies an entry that follows on what is known, if the chains agree.
-func (r *Record) takeEntry(text []byte) error {
+func (r *Replica) takeEntry(text []byte) error {
 	const head = 8 + len(logentry.Hash{})
 	if len(text) < head {
 		return fmt.Errorf("an entry of %d bytes", len(text))
@@ -172,7 +172,7 @@
 	index, hash, raw := binary.BigEndian.Uint64(text), logentry.Hash(text[8:head]), text[head:]
 	s := r.hub.view.Load().State
 	if index <= s.Index { // it has come by raft, or by another upstream
-		if known, ok := r.hub.hash(index); ok && known != hash && !r.o.Ignore.Chain {
+		if known, ok := r.hub.hash(index); ok && known != hash && !r.o.Mutations.SkipHashCheck {
 			return fmt.Errorf("entry %d: another chain", index)
 		}
 		return nil
@@ -181,7 +181,7 @@
 		return fmt.Errorf("entry %d: after %d", index, s.Index)
 	}
 	next, _ := s.Apply(raw)
-	if next.Hash != hash && !r.o.Ignore.Chain {
+	if next.Hash != hash && !r.o.Mutations.SkipHashCheck {
 		return fmt.Errorf("entry %d: another chain", index)
 	}
 	r.hub.put(next, raw)
@@ -189,7 +189,7 @@
 }
 
 // takeState takes a whole state in place of what is known, if it is later.
-func (r *Record) takeState(text []byte) error {
+func (r *Replica) takeState(text []byte) error {
 	s, err := unsealState(text)
 	if err == nil {
 		err = s.Adopt(r.o.Genesis)
--- a/internal/fleet/replog/follow_test.go
+++ b/internal/fleet/replog/follow_test.go
@@ -186,7 +186,7 @@
 	if refused := r.admit(&hello{Name: "d", Index: 1}, &conn{}); refused == nil || refused.Why != "behind" {
 		t.Errorf("one who knows more: %+v", refused)
 	}
-	if n := r.View().Serves; n != len(names)+1 {
+	if n := r.View().Followers; n != len(names)+1 {
 		t.Errorf("serves %d", n)
 	}
 }
--- a/internal/fleet/replog/fsm.go
+++ b/internal/fleet/replog/fsm.go
@@ -12,7 +12,7 @@
 // machine applies what raft has committed. It begins at raft's snapshot, which may be
 // behind what the member knows already from others.
 type machine struct {
-	r     *Record
+	r     *Replica
 	state *logentry.State
 }
 
--- a/internal/fleet/replog/hub.go
+++ b/internal/fleet/replog/hub.go
@@ -16,14 +16,14 @@
 
 // View is what a member knows at one time.
 type View struct {
-	State  *logentry.State
-	Heard  time.Time // when a leader's word was last known to hold; by the monotonic clock
-	Fresh  bool      // that was within the lease
-	Role   string    // leader, voter, follower; waiting or memory for a voter without a vote
-	Leader string    // its name, as far as known
-	Disk   string    // what is wrong with the disk; empty for nothing
-	Path   []string  // by which the word came: from the leader to the upstream
-	Serves int       // followers that ask this member
+	State       *logentry.State
+	ConfirmedAt time.Time // when a leader's word was last known to hold; by the monotonic clock
+	Fresh       bool      // that was within the lease
+	Role        string    // leader, voter, follower; waiting or memory for a voter without a vote
+	Leader      string    // its name, as far as known
+	DiskError   string    // what is wrong with the disk; empty for nothing
+	Path        []string  // by which the word came: from the leader to the upstream
+	Followers   int       // followers that ask this member
 }
 
 // line is one committed entry.
@@ -99,8 +99,8 @@
 	defer h.mu.Unlock()
 	old := h.view.Load()
 	h.edit(func(v *View) {
-		if at.After(v.Heard) {
-			v.Heard = at
+		if at.After(v.ConfirmedAt) {
+			v.ConfirmedAt = at
 		}
 		v.Path = path
 		if leader != "" {
--- a/internal/fleet/replog/number_test.go
+++ b/internal/fleet/replog/number_test.go
@@ -30,12 +30,12 @@
 }
 
 // bare is a member without a disk and a port.
-func bare(t *testing.T, name string) *Record {
+func bare(t *testing.T, name string) *Replica {
 	first, err := logentry.New(logentry.Genesis{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Record{o: Options{Name: name, Lease: defaultLease}, me: Peer{Name: name}, hub: newHub(first), children: map[string]*conn{}}
+	return &Replica{o: Options{Name: name, Lease: defaultLease}, me: Peer{Name: name}, hub: newHub(first), children: map[string]*conn{}}
 }
 
 // A word that waits on its way, or whose number does, is taken for no younger than it is.
@@ -71,10 +71,10 @@
 						t.Error("no error at the end")
 					}
 				}()
-				heard := func() time.Time { return down.hub.view.Load().Heard }
+				heard := func() time.Time { return down.hub.view.Load().ConfirmedAt }
 				for range 4 {
 					synctest.Wait()
-					if got, want := heard(), up.hub.view.Load().Heard; !got.Equal(want) {
+					if got, want := heard(), up.hub.view.Load().ConfirmedAt; !got.Equal(want) {
 						t.Fatalf("nothing is held: a word of %v is taken for one of %v", want, got)
 					}
 					time.Sleep(up.o.pulse())
--- a/internal/fleet/replog/options.go
+++ b/internal/fleet/replog/options.go
@@ -26,28 +26,28 @@
 }
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
-type Guards struct {
-	Commit bool // apply a proposal before it is committed
-	Chain  bool // take entries whose chain of hashes does not agree
-	Sync   bool // don't wait for the disk
-	Stale  bool // always say that the word is fresh
+type Mutations struct {
+	ApplyUncommitted bool // apply a proposal before it is committed
+	SkipHashCheck    bool // take entries whose chain of hashes does not agree
+	SkipDiskSync     bool // don't wait for the disk
+	AlwaysFresh      bool // always say that the word is fresh
 }
 
 // Options say how a member takes part.
 type Options struct {
-	Name      string // unique in the fleet; who is among Voters votes
-	Zone      string
-	Dir       string // for its files
-	Bind      string // HOST:PORT, TCP; calls go out from the same address
-	Advertise string // where the others reach it, if that is elsewhere
-	Voters    []Voter
-	Key       []byte // the fleet's; 16 bytes at least
-	Genesis   logentry.Genesis
-	Lease     time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
-	Peers     func() []Peer // nil where only the voters are known
-	Log       io.Writer     // raft's own lines, each with [DEBUG] in front
-	Ignore    Guards
-	Fault     func(op string) error // asked before each write to the disk, for tests; may be nil
+	Name        string // unique in the fleet; who is among Voters votes
+	Zone        string
+	Dir         string // for its files
+	Bind        string // HOST:PORT, TCP; calls go out from the same address
+	Advertise   string // where the others reach it, if that is elsewhere
+	Voters      []Voter
+	Key         []byte // the fleet's; 16 bytes at least
+	Genesis     logentry.Genesis
+	Lease       time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
+	Peers       func() []Peer // nil where only the voters are known
+	RaftLog     io.Writer     // raft's own lines, each with [DEBUG] in front
+	Mutations   Mutations
+	InjectFault func(op string) error // asked before each write to the disk, for tests; may be nil
 }
 
 const (
@@ -62,14 +62,14 @@
 	if o.Lease == 0 {
 		o.Lease = defaultLease
 	}
-	if o.Log == nil {
-		o.Log = io.Discard
+	if o.RaftLog == nil {
+		o.RaftLog = io.Discard
 	}
 	if o.Peers == nil {
 		o.Peers = func() []Peer { return nil }
 	}
-	if o.Fault == nil {
-		o.Fault = func(string) error { return nil }
+	if o.InjectFault == nil {
+		o.InjectFault = func(string) error { return nil }
 	}
 	switch {
 	case o.Name == "" || len(o.Name) > longestName:
--- a/internal/fleet/replog/propose.go
+++ b/internal/fleet/replog/propose.go
@@ -14,7 +14,7 @@
 
 // ErrUnknown is that a proposal may have become part of the log, or may yet: its answer was
 // lost. The state tells in time.
-var ErrUnknown = errors.New("what became of the entry is not known")
+var ErrOutcomeUnknown = errors.New("what became of the entry is not known")
 
 var (
 	errNotLeader = errors.New("it does not lead")
@@ -30,7 +30,7 @@
 // and applied there. An entry that would not be taken is mostly refused before it is logged:
 // then Outcome.Index is 0. It is never sent twice: an answer that is lost is ErrUnknown; any
 // other error says that it is no part of the log. It waits 5 s at most.
-func (r *Record) Propose(ctx context.Context, e logentry.Entry) (logentry.Outcome, error) {
+func (r *Replica) Propose(ctx context.Context, e logentry.Entry) (logentry.Outcome, error) {
 	raw, err := json.Marshal(&e)
 	if err != nil {
 		return logentry.Outcome{}, fmt.Errorf("entry: %w", err)
@@ -58,7 +58,7 @@
 		}
 		switch {
 		case a.Unknown:
-			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrUnknown, to.Name, a.Fault)
+			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrOutcomeUnknown, to.Name, a.Fault)
 		case a.Fault == "":
 			return a.Outcome, nil
 		}
@@ -78,7 +78,7 @@
 }
 
 // send asks another member. Up to the moment that the entry goes out its faults are sure.
-func (r *Record) send(ctx context.Context, to Voter, raw []byte) (a answer) {
+func (r *Replica) send(ctx context.Context, to Voter, raw []byte) (a answer) {
 	c, err := r.port.dial(ctx, to.Addr, forPropose, r.o.silence()/2)
 	if err != nil {
 		return answer{Fault: err.Error()}
@@ -95,7 +95,7 @@
 }
 
 // answerProposal serves one proposal of another member.
-func (r *Record) answerProposal(ctx context.Context, c *conn) {
+func (r *Replica) answerProposal(ctx context.Context, c *conn) {
 	kind, raw, err := hear(c, mostEntry)
 	if err != nil || kind != msgPropose {
 		return
@@ -106,7 +106,7 @@
 }
 
 // decide proposes an entry here, if this member leads.
-func (r *Record) decide(ctx context.Context, raw []byte) answer {
+func (r *Replica) decide(ctx context.Context, raw []byte) answer {
 	ra := r.raft.Load()
 	if ra == nil || ra.State() != raft.Leader {
 		return answer{Fault: errNotLeader.Error(), Leader: r.View().Leader}
@@ -132,13 +132,13 @@
 // commit takes an entry through raft. What would not be taken is refused at once, by a state
 // that a barrier has brought up to date: VerifyLeader is not enough, as an answer to a
 // heartbeat from before this process was stopped for a while can confirm it.
-func (r *Record) commit(ra *raft.Raft, raw []byte) answer {
-	if r.Leads() && r.hub.view.Load().State.Check(raw) != nil && ra.Barrier(mostWait).Error() == nil {
+func (r *Replica) commit(ra *raft.Raft, raw []byte) answer {
+	if r.IsLeader() && r.hub.view.Load().State.Check(raw) != nil && ra.Barrier(mostWait).Error() == nil {
 		if err := r.hub.view.Load().State.Check(raw); err != nil {
 			return answer{Outcome: logentry.Outcome{Reason: err.Error()}}
 		}
 	}
-	if r.o.Ignore.Commit {
+	if r.o.Mutations.ApplyUncommitted {
 		next, out := r.hub.view.Load().State.Apply(raw)
 		r.hub.put(next, raw)
 		ra.Apply(raw, mostWait)
--- a/internal/fleet/replog/record.go
+++ b/internal/fleet/replog/record.go
@@ -14,7 +14,7 @@
 )
 
 // Record is one member's part in the record. All of it may be called from any goroutine.
-type Record struct {
+type Replica struct {
 	o     Options
 	me    Peer
 	votes bool // this member is among the voters
@@ -36,7 +36,7 @@
 
 // Open checks the options, takes the listener and reads what this member knew last. A fault
 // of the options names its key. A disk that can't be used is no fault: see View.Disk.
-func Open(o Options) (*Record, error) {
+func Open(o Options) (*Replica, error) {
 	if err := o.check(); err != nil {
 		return nil, err
 	}
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record: %w", err)
 	}
-	r := &Record{o: o, first: first, children: map[string]*conn{}, unhook: func() {}, proposes: make(chan struct{}, mostProposals)}
+	r := &Replica{o: o, first: first, children: map[string]*conn{}, unhook: func() {}, proposes: make(chan struct{}, mostProposals)}
 	if r.port, err = newPort(&o); err != nil {
 		return nil, err
 	}
@@ -65,7 +65,7 @@
 }
 
 // Run takes part until ctx ends, and then writes what it knows and lets all go.
-func (r *Record) Run(ctx context.Context) error {
+func (r *Replica) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -81,7 +81,7 @@
 }
 
 // take serves a member's connection to its end.
-func (r *Record) take(ctx context.Context, kind byte, c *conn) {
+func (r *Replica) take(ctx context.Context, kind byte, c *conn) {
 	switch kind {
 	case forRaft:
 		if l := r.layer.Load(); l != nil {
@@ -100,30 +100,30 @@
 }
 
 // View returns what this member knows now.
-func (r *Record) View() View {
+func (r *Replica) View() View {
 	v := *r.hub.view.Load()
-	v.Fresh = r.o.Ignore.Stale || !v.Heard.IsZero() && time.Since(v.Heard) < r.o.Lease
+	v.Fresh = r.o.Mutations.AlwaysFresh || !v.ConfirmedAt.IsZero() && time.Since(v.ConfirmedAt) < r.o.Lease
 	return v
 }
 
 // Changed returns a channel that is closed when View next changes in more than the age of
 // its word, and when that is no longer fresh, or again.
-func (r *Record) Changed() <-chan struct{} {
+func (r *Replica) Changed() <-chan struct{} {
 	woken, _ := r.hub.waits()
 	return woken
 }
 
 // Leads tells whether this member decides what is proposed next.
-func (r *Record) Leads() bool {
+func (r *Replica) IsLeader() bool {
 	ra := r.raft.Load()
 	return ra != nil && ra.State() == raft.Leader && r.ready.Load() == ra.CurrentTerm()
 }
 
 // Addr is where others reach this member.
-func (r *Record) Addr() string { return r.me.Addr }
+func (r *Replica) Addr() string { return r.me.Addr }
 
 // watch tells when the word grows old, and when it is fresh again.
-func (r *Record) watch(ctx context.Context) {
+func (r *Replica) watch(ctx context.Context) {
 	t := time.NewTicker(r.o.pulse())
 	defer t.Stop()
 	was := false
@@ -145,7 +145,7 @@
 }
 
 // rehook makes the member choose anew whom it follows.
-func (r *Record) rehook() {
+func (r *Replica) rehook() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unhook()
--- a/internal/fleet/replog/serve.go
+++ b/internal/fleet/replog/serve.go
@@ -10,7 +10,7 @@
 
 // feed serves one follower until it goes: what it lacks at once, then each entry as it
 // comes, and each new word of the leader's.
-func (r *Record) feed(ctx context.Context, c *conn) {
+func (r *Replica) feed(ctx context.Context, c *conn) {
 	defer func() { _ = c.Close() }()
 	var h hello
 	_ = c.SetDeadline(time.Now().Add(r.o.silence()))
@@ -47,11 +47,11 @@
 			return
 		}
 		at = n
-		if due || v.Heard.After(told) {
+		if due || v.ConfirmedAt.After(told) {
 			if err := sayJSON(c, msgBeat, r.beat(v, numbers)); err != nil {
 				return
 			}
-			told = v.Heard
+			told = v.ConfirmedAt
 			idle.Reset(2 * r.o.pulse()) // where the leader is heard, its pulse comes first
 		}
 		due = false
@@ -68,7 +68,7 @@
 }
 
 // pass writes all that comes after an index, and returns the last that was written.
-func (r *Record) pass(c *conn, at uint64) (uint64, error) {
+func (r *Replica) pass(c *conn, at uint64) (uint64, error) {
 	lines, ok := r.hub.since(at)
 	if !ok {
 		s := r.hub.view.Load().State
@@ -88,24 +88,24 @@
 }
 
 // beat is this member's word, its age told as of the last number.
-func (r *Record) beat(v View, n *readNumbers) beat {
+func (r *Replica) beat(v View, n *readNumbers) beat {
 	b := beat{Leader: v.Leader, Path: append(append([]string{}, v.Path...), r.me.Name)}
-	if !v.Heard.IsZero() {
+	if !v.ConfirmedAt.IsZero() {
 		number, at := n.tell()
-		b.Number, b.Age = number, at.Sub(v.Heard).Microseconds()
+		b.Number, b.Age = number, at.Sub(v.ConfirmedAt).Microseconds()
 	}
 	return b
 }
 
 // admit takes a follower in, or says why not and who may. Voters always have room.
-func (r *Record) admit(h *hello, c *conn) *no {
+func (r *Replica) admit(h *hello, c *conn) *no {
 	if h.Name == "" || len(h.Name) > longestName {
 		return &no{Why: fmt.Sprintf("a name of %d bytes", len(h.Name))}
 	}
 	if h.Index > r.hub.view.Load().State.Index {
 		return &no{Why: "behind"}
 	}
-	if known, ok := r.hub.hash(h.Index); ok && known != h.Hash && !r.o.Ignore.Chain {
+	if known, ok := r.hub.hash(h.Index); ok && known != h.Hash && !r.o.Mutations.SkipHashCheck {
 		slog.Warn("record: a follower has another chain and is refused", "follower", h.Name, "index", h.Index)
 		return &no{Why: forked}
 	}
@@ -126,12 +126,12 @@
 	c.peer = h.Addr
 	r.children[h.Name] = c
 	n := len(r.children)
-	r.hub.change(func(v *View) { v.Serves = n })
+	r.hub.change(func(v *View) { v.Followers = n })
 	return nil
 }
 
 // fed counts the followers that have no vote. The lock is held.
-func (r *Record) fed() (n int) {
+func (r *Replica) fed() (n int) {
 	for name := range r.children {
 		if _, votes := r.o.voter(name); !votes {
 			n++
@@ -140,12 +140,12 @@
 	return n
 }
 
-func (r *Record) dismiss(h *hello, c *conn) {
+func (r *Replica) dismiss(h *hello, c *conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.children[h.Name] == c {
 		delete(r.children, h.Name)
 	}
 	n := len(r.children)
-	r.hub.change(func(v *View) { v.Serves = n })
+	r.hub.change(func(v *View) { v.Followers = n })
 }
--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -28,7 +28,7 @@
 // stateFile keeps the last known state on disk, so that a member that starts alone has
 // something to go by. Nothing is promised by it: it may be behind. One goroutine uses it.
 type stateFile struct {
-	r       *Record
+	r       *Replica
 	st      *store.Store
 	written uint64
 	failed  bool // said once
@@ -41,11 +41,11 @@
 	if f.st != nil {
 		return nil, nil
 	}
-	if err := f.r.o.Fault("state"); err != nil {
+	if err := f.r.o.InjectFault("state"); err != nil {
 		return nil, err
 	}
 	for range 2 {
-		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.r.o.Ignore.Sync})
+		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.r.o.Mutations.SkipDiskSync})
 		if err != nil {
 			return nil, err
 		}
@@ -124,7 +124,7 @@
 	}
 	text, err := sealState(s)
 	if err == nil {
-		if err = f.r.o.Fault("state"); err == nil {
+		if err = f.r.o.InjectFault("state"); err == nil {
 			err = f.st.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, text) })
 		}
 	}
@@ -149,7 +149,7 @@
 	}
 	f.failed = err != nil
 	if !f.r.votes { // a voter's word is about its votes
-		f.r.hub.change(func(v *View) { v.Disk = text(err) })
+		f.r.hub.change(func(v *View) { v.DiskError = text(err) })
 	}
 }
 
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -131,7 +131,7 @@
 
 func openTestDisk(t *testing.T, dir string) *disk {
 	t.Helper()
-	d, why, err := openDisk(&Options{Dir: dir, Fault: func(string) error { return nil }}, func() {})
+	d, why, err := openDisk(&Options{Dir: dir, InjectFault: func(string) error { return nil }}, func() {})
 	if err != nil || why != "" {
 		t.Fatal(why, err)
 	}
@@ -189,7 +189,7 @@
 	want, _ := storedState(t)
 	file := func(dir string) *stateFile {
 		r := bare(t, "m1")
-		r.o.Dir, r.o.Genesis, r.o.Fault = dir, want.Genesis, func(string) error { return nil }
+		r.o.Dir, r.o.Genesis, r.o.InjectFault = dir, want.Genesis, func(string) error { return nil }
 		f := &stateFile{r: r}
 		t.Cleanup(func() {
 			if f.st != nil {
--- a/internal/fleet/replog/voter.go
+++ b/internal/fleet/replog/voter.go
@@ -23,7 +23,7 @@
 
 // voter keeps this member's vote for as long as its disk can be written. When it can't, the
 // member goes on in memory, as a follower, and tries the disk each second.
-func (r *Record) voter(ctx context.Context) {
+func (r *Replica) voter(ctx context.Context) {
 	for pause := again; ctx.Err() == nil; {
 		began := time.Now()
 		err := r.vote(ctx)
@@ -31,7 +31,7 @@
 			return
 		}
 		slog.Warn("record: no vote, going on in memory", "err", err)
-		r.hub.change(func(v *View) { v.Role, v.Disk = "memory", text(err) })
+		r.hub.change(func(v *View) { v.Role, v.DiskError = "memory", text(err) })
 		r.rehook()
 		if time.Since(began) > longestPause {
 			pause = again
@@ -49,8 +49,8 @@
 
 // probe tells whether the disk takes what a vote would need: fresh blocks, at a place behind
 // all that the store has.
-func (r *Record) probe() error {
-	if err := r.o.Fault("probe"); err != nil {
+func (r *Replica) probe() error {
+	if err := r.o.InjectFault("probe"); err != nil {
 		return err
 	}
 	const size = 64 << 10
@@ -68,7 +68,7 @@
 }
 
 // vote runs raft until ctx ends or the disk fails, and returns why.
-func (r *Record) vote(ctx context.Context) (err error) {
+func (r *Replica) vote(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := newLayer(ctx, r.port, r.me.Addr)
@@ -83,7 +83,7 @@
 	}
 	r.own.Store(&mine{ID: d.st.ID.String(), Founded: !d.blank(), Founders: d.founders})
 	defer r.own.Store(nil)
-	r.hub.change(func(v *View) { v.Role, v.Disk = "waiting", "" })
+	r.hub.change(func(v *View) { v.Role, v.DiskError = "waiting", "" })
 	if err := r.enter(ctx, d); err != nil {
 		return err
 	}
@@ -97,8 +97,8 @@
 	c.ShutdownOnRemove = false
 	leads := make(chan bool, 8)
 	c.NotifyCh = leads
-	c.LogOutput, c.LogLevel = debugLines{r.o.Log}, "INFO"
-	trans := raft.NewNetworkTransport(l, 3, r.o.silence(), debugLines{r.o.Log})
+	c.LogOutput, c.LogLevel = debugLines{r.o.RaftLog}, "INFO"
+	trans := raft.NewNetworkTransport(l, 3, r.o.silence(), debugLines{r.o.RaftLog})
 	defer func() { _ = trans.Close() }()
 	ra, err := raft.NewRaft(c, &machine{r, r.first}, d, d, d, trans)
 	if err != nil {
@@ -122,7 +122,7 @@
 }
 
 // stand follows raft's changes until the disk fails.
-func (r *Record) stand(ctx context.Context, d *disk, ra *raft.Raft, leads <-chan bool, seen <-chan raft.Observation) error {
+func (r *Replica) stand(ctx context.Context, d *disk, ra *raft.Raft, leads <-chan bool, seen <-chan raft.Observation) error {
 	ended := make(chan struct{})
 	defer func() { <-ended }()
 	ctx, cancel := context.WithCancel(ctx)
@@ -155,11 +155,11 @@
 }
 
 // show brings role and leader into the view.
-func (r *Record) show(ra *raft.Raft) {
+func (r *Replica) show(ra *raft.Raft) {
 	_, leader := ra.LeaderWithID()
 	role := "voter"
 	switch {
-	case r.Leads():
+	case r.IsLeader():
 		role = "leader"
 	case !hasVote(ra, r.me.Name):
 		role = "waiting"
@@ -178,7 +178,7 @@
 
 // pulses gives the fleet the leader's word while this member leads. A word counts from the
 // moment before a majority confirmed it.
-func (r *Record) pulses(ctx context.Context, ra *raft.Raft) {
+func (r *Replica) pulses(ctx context.Context, ra *raft.Raft) {
 	t := time.NewTicker(r.o.pulse())
 	defer t.Stop()
 	for {
@@ -189,7 +189,7 @@
 				r.rehook()
 			}
 			at := time.Now()
-			if r.Leads() && ra.VerifyLeader().Error() == nil {
+			if r.IsLeader() && ra.VerifyLeader().Error() == nil {
 				r.hub.heard(at, r.me.Name, nil)
 			}
 		}
