--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -30,7 +30,7 @@
 }
 
 // shareOut counts the descriptors of the parts that are switched on.
-func shareOut(c config.Config, own operatorconfig.File, place *instancelock.Place) descriptors {
+func shareOut(c config.Config, own operatorconfig.File, place *instancelock.Lock) descriptors {
 	d := descriptors{all: c.Limits.Sockets, fixed: processDescriptors}
 	if own.UDP.Listen != "" {
 		d.all = max(d.all-own.UDP.Sockets, leastSockets)
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -45,12 +45,12 @@
 // takePlace takes this process's place beside another, where there may be one; else
 // it returns nil. What the other holds and can't hand over ends the start, and not the
 // other.
-func takePlace(c config.Config, l net.Listener, own operatorconfig.File) (*instancelock.Place, error) {
+func takePlace(c config.Config, l net.Listener, own operatorconfig.File) (*instancelock.Lock, error) {
 	if c.Inherited == 0 {
 		return nil, nil
 	}
-	place, err := instancelock.Take(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
-	if err != nil || !place.Lives() {
+	place, err := instancelock.Acquire(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
+	if err != nil || !place.IsSiblingAlive() {
 		return place, err
 	}
 	held := ""
@@ -67,8 +67,8 @@
 }
 
 // heir is the successor that takes what stands, or nil: then it is moved.
-func heir(place *instancelock.Place) *hotrestart.Sender {
-	g, err := hotrestart.Dial(os.TempDir(), place.Other())
+func heir(place *instancelock.Lock) *hotrestart.Sender {
+	g, err := hotrestart.Dial(os.TempDir(), place.SiblingName())
 	if err != nil {
 		slog.Warn("what stands is moved", "err", err)
 		return nil
@@ -79,7 +79,7 @@
 // neighbour is the process beside this one, as it was a moment ago: nobody who asks waits
 // for a file.
 type neighbour struct {
-	place   *instancelock.Place
+	place   *instancelock.Lock
 	sockets atomic.Int64 // that it uses
 }
 
@@ -91,7 +91,7 @@
 	tick := time.NewTicker(looksBeside)
 	defer tick.Stop()
 	for was := false; ; {
-		there, lives := n.place.Share(used())
+		there, lives := n.place.ExchangeSocketCounts(used())
 		if lives {
 			there += besideSockets
 		}
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -46,7 +46,7 @@
 func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operatorconfig.File, path string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	var place *instancelock.Place
+	var place *instancelock.Lock
 	defer func() { place.Close() }() // when all is over: the process beside this one goes by it
 	defer parts.Wait()
 	defer cancel()
@@ -61,7 +61,7 @@
 	}
 	c.Settings = platform.Watched(c.Settings)
 	// A node's start is one of many, a successor's its own.
-	c.Settings.AskNow = c.Settings.AskNow || place.Lives()
+	c.Settings.AskNow = c.Settings.AskNow || place.IsSiblingAlive()
 	hops := upstream.New(ctx, hopLimits(c.Settings))
 	lists := &fleet{hops: hops, known: make(chan struct{})}
 	watch := discovery.New(c.Discovery, lists)
@@ -110,22 +110,22 @@
 		reload(ctx, hangUps, inForce.reload, func() { own = reloadOwn(own, path, resume) })
 	})
 	if place != nil {
-		if err := hotrestart.Listen(ctx, &parts, os.TempDir(), place.Mine(), successor{server, core}); err != nil {
+		if err := hotrestart.Listen(ctx, &parts, os.TempDir(), place.Name(), successor{server, core}); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
 	}
-	if place.Lives() { // who serves meanwhile; alone, clients would wait
-		awaitList(terminate, lists.known, place.Lives)
+	if place.IsSiblingAlive() { // who serves meanwhile; alone, clients would wait
+		awaitList(terminate, lists.known, place.IsSiblingAlive)
 	}
 	turnAway := func() { // before anything that may take its time
-		if !place.Lives() {
+		if !place.IsSiblingAlive() {
 			server.Leave(time.Now())
 		}
 	}
 	if terminate.Err() != nil { // in the start: nobody is taken at all
 		turnAway()
 	}
-	place.Serves(true) // before anybody is told so
+	place.SetServing(true) // before anybody is told so
 	served := make(chan error, 1)
 	parts.Go(func() { served <- server.Serve(listener) })
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
@@ -140,10 +140,10 @@
 }
 
 // leave empties the node for good, within the longest deadline and a little more.
-func leave(server *downstream.Server, core *dispatch.Core, listener net.Listener, place *instancelock.Place, longest time.Duration) {
+func leave(server *downstream.Server, core *dispatch.Core, listener net.Listener, place *instancelock.Lock, longest time.Duration) {
 	begun := time.Now()
-	place.Serves(false)
-	succeeded := place.Succeeded() // one that is not ready, or leaves too, would leave clients to nobody
+	place.SetServing(false)
+	succeeded := place.IsSiblingServing() // one that is not ready, or leaves too, would leave clients to nobody
 	slog.Info("draining", "longest", longest, "successor", succeeded)
 	plan := ending(begun, longest)
 	if succeeded { // who connects from now on is the successor's, who was accepted before is served
--- a/internal/instancelock/beside.go
+++ b/internal/instancelock/beside.go
@@ -23,20 +23,20 @@
 )
 
 // ErrFull is told where two processes live already.
-var ErrFull = errors.New("two processes of this node live already")
+var ErrNoFreeSlot = errors.New("two processes of this node live already")
 
 // Place is one process's: a lock on a byte of a file in a folder that both share. What an
 // earlier process left in the file counts for nothing: only a lock, which ends with its
 // process, does. A nil Place is that of a process which shares with nobody.
-type Place struct {
-	file *os.File
-	name string
-	mine int64
+type Lock struct {
+	file     *os.File
+	baseName string
+	mine     int64
 }
 
 // Take takes a place of the node that listens at an address, in dir, and waits for one
 // until the deadline: the last but one process may still be ending.
-func Take(dir, listen string, deadline time.Time) (*Place, error) {
+func Acquire(dir, listen string, deadline time.Time) (*Lock, error) {
 	name := "coralrelay-" + strings.NewReplacer(":", "-", "/", "-", "[", "", "]", "", "%", "-").Replace(listen)
 	path := filepath.Join(dir, name)
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|unix.O_NONBLOCK|unix.O_NOFOLLOW, 0o600)
@@ -49,15 +49,15 @@
 	}
 	for {
 		for i := range int64(places) {
-			if unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, lock(unix.F_WRLCK, i)) == nil {
-				p := &Place{file: file, name: name, mine: i}
+			if unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, slotRange(unix.F_WRLCK, i)) == nil {
+				p := &Lock{file: file, baseName: name, mine: i}
 				p.use(0)
 				return p, nil
 			}
 		}
 		if !time.Now().Before(deadline) {
 			_ = file.Close()
-			return nil, fmt.Errorf("beside: %s: %w", path, ErrFull)
+			return nil, fmt.Errorf("beside: %s: %w", path, ErrNoFreeSlot)
 		}
 		time.Sleep(again)
 	}
@@ -65,25 +65,25 @@
 
 // lock names one byte: the first ones stand for the places, those behind them for the
 // places whose processes take clients.
-func lock(kind int16, place int64) *unix.Flock_t {
+func slotRange(kind int16, place int64) *unix.Flock_t {
 	return &unix.Flock_t{Type: kind, Start: place, Len: 1}
 }
 
 // at is where a place's count stands, behind all the bytes that are locked.
 func at(place int64) int64 { return 8 * (1 + place) }
 
-func (p *Place) use(sockets int) {
+func (p *Lock) use(sockets int) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], uint64(sockets))
 	_, _ = p.file.WriteAt(b[:], at(p.mine)) // a full disk must not end the node
 }
 
 // Mine names this process in the folder, and Other the process beside it.
-func (p *Place) Mine() string  { return fmt.Sprintf("%s.%d", p.name, p.mine) }
-func (p *Place) Other() string { return fmt.Sprintf("%s.%d", p.name, 1-p.mine) }
+func (p *Lock) Name() string        { return fmt.Sprintf("%s.%d", p.baseName, p.mine) }
+func (p *Lock) SiblingName() string { return fmt.Sprintf("%s.%d", p.baseName, 1-p.mine) }
 
 // Lives tells whether the other process does.
-func (p *Place) Lives() bool {
+func (p *Lock) IsSiblingAlive() bool {
 	if p == nil {
 		return false
 	}
@@ -91,15 +91,15 @@
 }
 
 // held tells whether another process holds the lock on a byte.
-func (p *Place) held(at int64) bool {
-	l := lock(unix.F_WRLCK, at)
+func (p *Lock) held(at int64) bool {
+	l := slotRange(unix.F_WRLCK, at)
 	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, l) == nil && l.Type != unix.F_UNLCK
 }
 
 // Serves tells the other process whether this one takes clients, for as long as it lives.
 // A process that leaves tells so before it asks Succeeded: then of two that leave at once
 // one at least learns it of the other, and the clients are never left to nobody.
-func (p *Place) Serves(yes bool) {
+func (p *Lock) SetServing(yes bool) {
 	if p == nil {
 		return
 	}
@@ -107,21 +107,21 @@
 	if yes {
 		kind = unix.F_WRLCK
 	}
-	_ = unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, lock(kind, places+p.mine)) // nobody else asks for it
+	_ = unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, slotRange(kind, places+p.mine)) // nobody else asks for it
 }
 
 // Succeeded tells whether the other process takes clients, so that this one need not.
-func (p *Place) Succeeded() bool { return p != nil && p.held(places+1-p.mine) }
+func (p *Lock) IsSiblingServing() bool { return p != nil && p.held(places+1-p.mine) }
 
 // Share tells how many sockets this process uses, and returns how many the other
 // does, if it lives.
-func (p *Place) Share(mine int) (other int, lives bool) {
+func (p *Lock) ExchangeSocketCounts(mine int) (other int, lives bool) {
 	if p == nil {
 		return 0, false
 	}
 	p.use(mine)
 	var b [8]byte
-	if !p.Lives() {
+	if !p.IsSiblingAlive() {
 		return 0, false
 	}
 	if _, err := p.file.ReadAt(b[:], at(1-p.mine)); err != nil {
@@ -131,7 +131,7 @@
 }
 
 // Close gives the place up.
-func (p *Place) Close() {
+func (p *Lock) Close() {
 	if p != nil {
 		_ = p.file.Close()
 	}
--- a/internal/instancelock/beside_test.go
+++ b/internal/instancelock/beside_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-func take(t *testing.T, dir string) *Place {
+func take(t *testing.T, dir string) *Lock {
 	t.Helper()
-	p, err := Take(dir, "[::1]:7070", time.Time{})
+	p, err := Acquire(dir, "[::1]:7070", time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -18,8 +18,8 @@
 	return p
 }
 
-func shared(p *Place, mine int) int {
-	n, _ := p.Share(mine)
+func shared(p *Lock, mine int) int {
+	n, _ := p.ExchangeSocketCounts(mine)
 	return n
 }
 
@@ -36,21 +36,21 @@
 				}
 			}
 			old := take(t, dir)
-			if old.Lives() || shared(old, 100) != 0 {
+			if old.IsSiblingAlive() || shared(old, 100) != 0 {
 				t.Error("a process alone sees another")
 			}
 			next := take(t, dir)
-			if there := shared(next, 7); !next.Lives() || there != 100 {
+			if there := shared(next, 7); !next.IsSiblingAlive() || there != 100 {
 				t.Errorf("the new one sees %d sockets", there)
 			}
-			if there := shared(old, 99); !old.Lives() || there != 7 {
+			if there := shared(old, 99); !old.IsSiblingAlive() || there != 7 {
 				t.Errorf("the old one sees %d sockets", there)
 			}
-			if _, err := Take(dir, "[::1]:7070", time.Now().Add(3*again)); !errors.Is(err, ErrFull) {
+			if _, err := Acquire(dir, "[::1]:7070", time.Now().Add(3*again)); !errors.Is(err, ErrNoFreeSlot) {
 				t.Errorf("a third: %v", err)
 			}
 			old.Close()
-			if next.Lives() || shared(next, 1) != 0 {
+			if next.IsSiblingAlive() || shared(next, 1) != 0 {
 				t.Error("the old one's end is not seen")
 			}
 			take(t, dir) // its place is free
@@ -63,26 +63,26 @@
 func TestServes(t *testing.T) {
 	dir := t.TempDir()
 	old, next := take(t, dir), take(t, dir)
-	old.Serves(true)
-	if old.Succeeded() || !next.Succeeded() {
+	old.SetServing(true)
+	if old.IsSiblingServing() || !next.IsSiblingServing() {
 		t.Error("beside one that is not ready yet")
 	}
-	next.Serves(true)
-	if !old.Succeeded() || !next.Succeeded() {
+	next.SetServing(true)
+	if !old.IsSiblingServing() || !next.IsSiblingServing() {
 		t.Error("beside one that serves")
 	}
-	old.Serves(false)
-	next.Serves(false)
-	if old.Succeeded() || next.Succeeded() {
+	old.SetServing(false)
+	next.SetServing(false)
+	if old.IsSiblingServing() || next.IsSiblingServing() {
 		t.Error("both leave")
 	}
-	next.Serves(true)
+	next.SetServing(true)
 	next.Close()
-	if old.Lives() || old.Succeeded() {
+	if old.IsSiblingAlive() || old.IsSiblingServing() {
 		t.Error("beside one that has ended")
 	}
-	if again := take(t, dir); old.Succeeded() || !old.Lives() {
-		t.Errorf("%s inherits the word of the one before", again.Mine())
+	if again := take(t, dir); old.IsSiblingServing() || !old.IsSiblingAlive() {
+		t.Errorf("%s inherits the word of the one before", again.Name())
 	}
 }
 
@@ -92,15 +92,15 @@
 	if err := os.Mkdir(filepath.Join(dir, "coralrelay---1-7070"), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Take(dir, "[::1]:7070", time.Time{}); err == nil {
+	if _, err := Acquire(dir, "[::1]:7070", time.Time{}); err == nil {
 		t.Error("a folder passes for the file")
 	}
-	var alone *Place
-	if alone.Lives() || shared(alone, 3) != 0 {
+	var alone *Lock
+	if alone.IsSiblingAlive() || shared(alone, 3) != 0 {
 		t.Error("a process that shares with nobody sees another")
 	}
-	alone.Serves(true)
-	if alone.Succeeded() {
+	alone.SetServing(true)
+	if alone.IsSiblingServing() {
 		t.Error("a process that shares with nobody is succeeded")
 	}
 	alone.Close()
--- a/internal/instancelock/stored_test.go
+++ b/internal/instancelock/stored_test.go
@@ -20,8 +20,8 @@
 func TestStoredFileIsWritten(t *testing.T) {
 	dir := t.TempDir()
 	first, second := take(t, dir), take(t, dir)
-	first.Share(0x030201)
-	second.Share(0x060504)
+	first.ExchangeSocketCounts(0x030201)
+	second.ExchangeSocketCounts(0x060504)
 	got, err := os.ReadFile(filepath.Join(dir, "coralrelay---1-7070"))
 	if err != nil {
 		t.Fatal(err)
@@ -67,21 +67,21 @@
 	}
 	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 1) // the second place
 	p := take(t, dir)
-	if p.Mine() != "coralrelay---1-7070.0" || p.Other() != "coralrelay---1-7070.1" {
-		t.Errorf("this one is %s, the other %s", p.Mine(), p.Other())
+	if p.Name() != "coralrelay---1-7070.0" || p.SiblingName() != "coralrelay---1-7070.1" {
+		t.Errorf("this one is %s, the other %s", p.Name(), p.SiblingName())
 	}
-	if n, lives := p.Share(9); n != 0x060504 || !lives {
+	if n, lives := p.ExchangeSocketCounts(9); n != 0x060504 || !lives {
 		t.Errorf("the other uses %#x sockets, lives: %v", n, lives)
 	}
-	if p.Succeeded() {
+	if p.IsSiblingServing() {
 		t.Error("succeeded by one that takes no clients")
 	}
 	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 3) // it takes clients
-	if !p.Succeeded() {
+	if !p.IsSiblingServing() {
 		t.Error("not succeeded by one that takes clients")
 	}
 	for _, serves := range []bool{false, true} {
-		p.Serves(serves)
+		p.SetServing(serves)
 		lives, takes := fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 0), fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 2)
 		if lives.Type == unix.F_UNLCK || takes.Type == unix.F_UNLCK == serves {
 			t.Errorf("serves: %v, but the locks on bytes 0 and 2 are %d and %d", serves, lives.Type, takes.Type)
