--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -52,7 +52,7 @@
 	}
 	f := own.Fleet
 	if f.Agent == "" {
-		return operatorconfig.Fault{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
+		return operatorconfig.KeyError{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
 	}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) + c.ClockOffset }
 	m := newMember(f, clock)
@@ -64,15 +64,15 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer cancel()
-	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.Record.Lease.Duration, Clock: clock,
+	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.ReplicatedLog.Lease.Duration, Clock: clock,
 		Offset: c.ClockOffset, Together: mutation.Enabled("together"), Guards: zoneGuards()}
 	if f.Zones.Enabled {
 		zones := f.Zones.Config()
 		o.Zones = &zones
 	}
 	o.Promises = promises(f)
-	if f.Record.On() {
-		deal := f.Deal()
+	if f.ReplicatedLog.IsEnabled() {
+		deal := f.AllocationConfig()
 		o.Accounts = &deal
 		if err := keepRecord(ctx, &parts, f, &o); err != nil {
 			// The node beside this agent is served all the same.
@@ -87,7 +87,7 @@
 		defer cancel() // without it the node can't ask
 		served <- agentapi.Serve(ctx, l, a)
 	}()
-	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.Record.On(), "zones", f.Zones.Enabled)
+	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.ReplicatedLog.IsEnabled(), "zones", f.Zones.Enabled)
 	err = m.Run(ctx, gossip.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
 		Open: mutation.Enabled("open"), Interval: f.Interval.Duration, Log: toLog{}})
 	cancel()
--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -23,8 +23,8 @@
 	guards := quota.Guards{Ranks: mutation.Enabled("ranks"), Expire: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), Budget: mutation.Enabled("budget")}
 	m := gossip.NewAgent(f.Name, cfg, guards, clock)
 	m.Zone = f.Zone
-	if f.Record.On() {
-		m.Record = f.Record.Reached()
+	if f.ReplicatedLog.IsEnabled() {
+		m.Record = f.ReplicatedLog.AdvertisedAddr()
 	}
 	return m
 }
@@ -40,12 +40,12 @@
 	if err != nil {
 		return err
 	}
-	root, err := f.Record.RootKey()
+	root, err := f.ReplicatedLog.RootKey()
 	if err != nil {
 		return err
 	}
 	var voters []replog.Voter
-	for _, v := range f.Record.Voters {
+	for _, v := range f.ReplicatedLog.Voters {
 		voters = append(voters, replog.Voter(v))
 	}
 	peers := func() (all []replog.Peer) {
@@ -56,8 +56,8 @@
 		}
 		return all
 	}
-	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.Record.Dir, Bind: f.Record.Bind, Advertise: f.Record.Advertise,
-		Voters: voters, Key: key, Genesis: logentry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.Record.Lease.Duration,
+	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.ReplicatedLog.Dir, Bind: f.ReplicatedLog.Bind, Advertise: f.ReplicatedLog.Advertise,
+		Voters: voters, Key: key, Genesis: logentry.Genesis{Root: root, Zone: f.Zones.Config(), Ignore: accountGuards()}, Lease: f.ReplicatedLog.Lease.Duration,
 		Peers: peers, RaftLog: toLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
 			SkipDiskSync: mutation.Enabled("sync"), AlwaysFresh: mutation.Enabled("stale")}})
 	if err != nil {
--- a/cmd/coralagent/promises.go
+++ b/cmd/coralagent/promises.go
@@ -9,13 +9,13 @@
 
 // promises is this agent's part in keeping contracts; nil where they are not kept.
 func promises(f operatorconfig.Fleet) *agent.Promises {
-	if !f.Promises.Enabled {
+	if !f.SLO.Enabled {
 		return nil
 	}
-	p := &agent.Promises{Config: f.Promises.Config(), Pace: f.Promises.Pace, Time: f.Promises.Time, Zones: f.Zones.Config(),
+	p := &agent.Promises{Config: f.SLO.Config(), Pace: f.SLO.Pace, Time: f.SLO.Time, Zones: f.Zones.Config(),
 		Guards: slo.Guards{Greedy: mutation.Enabled("greedy"), Confidence: mutation.Enabled("confidence"), Hysteresis: mutation.Enabled("hysteresis"),
 			Explore: mutation.Enabled("explore"), Limits: mutation.Enabled("limits"), Stale: mutation.Enabled("stale-evidence")}}
-	for _, v := range f.Record.Voters {
+	for _, v := range f.ReplicatedLog.Voters {
 		p.Voters = append(p.Voters, v.Name)
 	}
 	return p
--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -35,8 +35,8 @@
 	if own.UDP.Listen != "" {
 		d.all = max(d.all-own.UDP.Sockets, leastSockets)
 	}
-	if c.Mgmt != "" { // a listener, and one that waits for its turn
-		d.fixed += admin.Callers + 2
+	if c.AdminAddr != "" { // a listener, and one that waits for its turn
+		d.fixed += admin.MaxCalls + 2
 	}
 	if place != nil {
 		d.fixed += besideDescriptors
@@ -45,7 +45,7 @@
 		d.fixed += fleetDescriptors
 	}
 	if own.Resume.Enabled { // a file, a listener, and a connection from and to each peer
-		d.fixed += 2 + 2*len(own.Resume.Ledger.Peers)
+		d.fixed += 2 + 2*len(own.Resume.ReplayGuard.Peers)
 	}
 	return d
 }
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -24,8 +24,8 @@
 	}
 	l := &agentapi.Link{Addr: f.Agent, Say: func() agentapi.Said { return agentapi.Said{Spending: core.Spending()} },
 		Take: func(t agentapi.Told) { core.Grant(t.Granted) }, Lost: lost}
-	if f.Record.On() {
-		r, err := newRoutes(core, f.Deal())
+	if f.ReplicatedLog.IsEnabled() {
+		r, err := newRoutes(core, f.AllocationConfig())
 		if err != nil {
 			return fmt.Errorf("fleet: routes: %w", err)
 		}
--- a/cmd/coralrelay/listener.go
+++ b/cmd/coralrelay/listener.go
@@ -20,26 +20,26 @@
 
 // clientsListener opens the clients' listener, or takes the one that the platform holds.
 func clientsListener(c config.Config) (net.Listener, error) {
-	if c.Inherited == 0 {
+	if c.InheritedFD == 0 {
 		l, err := net.Listen("tcp", c.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 		return l, nil
 	}
-	syscall.CloseOnExec(c.Inherited)
-	file := os.NewFile(uintptr(c.Inherited), "inherited")
+	syscall.CloseOnExec(c.InheritedFD)
+	file := os.NewFile(uintptr(c.InheritedFD), "inherited")
 	if file == nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", c.Inherited)
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", c.InheritedFD)
 	}
 	defer file.Close() // the listener has a copy of its own
 	l, err := net.FileListener(file)
 	if err != nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", c.Inherited, err)
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", c.InheritedFD, err)
 	}
 	if !listens(l) {
 		_ = l.Close()
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", c.Inherited)
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", c.InheritedFD)
 	}
 	return newInherited(l.(*net.TCPListener))
 }
--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -16,7 +16,7 @@
 type fleet struct {
 	hops  *upstream.Hops
 	core  *dispatch.Core
-	udp   udp.Fronts    // nil where it is off
+	udp   udp.Listeners // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
 	once  sync.Once
 	// listed is told how many next hops are listed, before any of them is asked for.
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -32,7 +32,7 @@
 	listWithin = 2 * time.Second
 	// besideSockets are what a process needs besides its callers and their branches:
 	// operators' calls, probes, discovery, listeners.
-	besideSockets = admin.Callers + 24
+	besideSockets = admin.MaxCalls + 24
 	// looksBeside is how old the word on the process beside this one may be.
 	looksBeside = 50 * time.Millisecond
 	// drainFrom, drainOver: how an operator's drain moves what stands. Callers come for
@@ -46,7 +46,7 @@
 // it returns nil. What the other holds and can't hand over ends the start, and not the
 // other.
 func takePlace(c config.Config, l net.Listener, own operatorconfig.File) (*instancelock.Lock, error) {
-	if c.Inherited == 0 {
+	if c.InheritedFD == 0 {
 		return nil, nil
 	}
 	place, err := instancelock.Acquire(os.TempDir(), l.Addr().String(), time.Now().Add(placeWithin))
@@ -145,10 +145,10 @@
 	*downstream.Server
 	hops *upstream.Hops
 	core *dispatch.Core
-	book *metrics.Book
+	book *metrics.Registry
 }
 
-func (o operations) Figures() string {
+func (o operations) Metrics() string {
 	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.Avoided()})
 }
 
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -27,11 +27,11 @@
 
 // countPromises has the link tell what the node measures, where contracts are kept.
 func countPromises(l *agentapi.Link, f operatorconfig.Fleet, core *dispatch.Core) {
-	if !f.Promises.Enabled {
+	if !f.SLO.Enabled {
 		return
 	}
-	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.Promises.Time(time.Duration(time.Now().UnixNano())) },
-		tally: slo.NewTally(f.Promises.Config(), f.Name, f.Zone, time.Now().UnixNano())}
+	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.SLO.Time(time.Duration(time.Now().UnixNano())) },
+		tally: slo.NewTally(f.SLO.Config(), f.Name, f.Zone, time.Now().UnixNano())}
 	for region, zones := range f.Zones.Regions {
 		for _, zone := range zones {
 			p.zones[zone] = region
--- a/cmd/coralrelay/reload.go
+++ b/cmd/coralrelay/reload.go
@@ -33,7 +33,7 @@
 		slog.Error("reload: the operator's old file stays", "err", err)
 		return own
 	}
-	if fixed := own.Fixed(&next); len(fixed) > 0 {
+	if fixed := own.ChangedRestartKeys(&next); len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
 	if err := logging.SetLevel(next.Log.Level); err != nil {
--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := replayguard.Open(replayguard.Options{Dir: o.Ledger.Dir, Records: o.Ledger.Records, Skew: o.Skew.Duration})
+	l, err := replayguard.Open(replayguard.Options{Dir: o.ReplayGuard.Dir, Records: o.ReplayGuard.Records, Skew: o.ClockSkew.Duration})
 	switch {
 	case errors.Is(err, store.ErrHeld): // two nodes with one folder would never do
 		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
@@ -43,9 +43,9 @@
 		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
 		l = replayguard.Broke()
 	}
-	s := replayguard.NewService(name, l, terms, o.Ledger.Peers)
-	if o.Ledger.Listen != "" {
-		listener, err := net.Listen("tcp", o.Ledger.Listen)
+	s := replayguard.NewService(name, l, terms, o.ReplayGuard.Peers)
+	if o.ReplayGuard.Listen != "" {
+		listener, err := net.Listen("tcp", o.ReplayGuard.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("resume.ledger.listen: %w", err)
 		}
@@ -54,7 +54,7 @@
 	}
 	parts.Go(func() { l.Run(ctx) })
 	parts.Go(func() { s.Run(ctx) })
-	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.Kept(), "survives", l.Stays, "peers", len(o.Ledger.Peers))
+	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.Kept(), "survives", l.Stays, "peers", len(o.ReplayGuard.Peers))
 	return &tokenResumption{service: s, sessions: resumption.Sessions{Tokens: s}}, nil
 }
 
@@ -63,7 +63,7 @@
 	if err != nil {
 		return replayguard.Terms{}, fmt.Errorf("resume.keys: %w", err)
 	}
-	return replayguard.Terms{Ring: ring, Life: o.Life.Duration, Skew: o.Skew.Duration, Wait: o.Wait.Duration}, nil
+	return replayguard.Terms{Ring: ring, Life: o.TokenTTL.Duration, Skew: o.ClockSkew.Duration, Wait: o.ArbiterTimeout.Duration}, nil
 }
 
 // change takes other keys and times.
--- a/cmd/coralrelay/resume_test.go
+++ b/cmd/coralrelay/resume_test.go
@@ -78,7 +78,7 @@
 	t.Helper()
 	own := operatorconfig.Default()
 	own.Resume.Enabled, own.Resume.Keys = true, filepath.Join(t.TempDir(), "keys")
-	own.Resume.Ledger.Dir = t.TempDir()
+	own.Resume.ReplayGuard.Dir = t.TempDir()
 	if _, _, err := keyfile.New(own.Resume.Keys, time.Now().Add(-time.Minute)); err != nil {
 		t.Fatal(err)
 	}
@@ -166,8 +166,8 @@
 // A ledger that can't be opened does not keep the node from serving.
 func TestServesWithoutLedger(t *testing.T) {
 	own := switchedOn(t)
-	own.Resume.Ledger.Dir = filepath.Join(own.Resume.Keys, "nowhere")
-	if err := os.WriteFile(own.Resume.Ledger.Dir, nil, 0o600); err != nil { // a file stands in its place
+	own.Resume.ReplayGuard.Dir = filepath.Join(own.Resume.Keys, "nowhere")
+	if err := os.WriteFile(own.Resume.ReplayGuard.Dir, nil, 0o600); err != nil { // a file stands in its place
 		t.Fatal(err)
 	}
 	addr, hop, _ := resumeNode(t, own)
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -22,7 +22,7 @@
 	hops   *upstream.Hops
 	server *downstream.Server
 	watch  *discovery.Watch
-	book   *metrics.Book
+	book   *metrics.Registry
 
 	mu      sync.Mutex
 	current config.Config
@@ -35,7 +35,7 @@
 	for _, class := range c.Settings.Classes {
 		names = append(names, class.Name)
 	}
-	l.book.Name(names...) // before anybody is served by them
+	l.book.AddClasses(names...) // before anybody is served by them
 	l.hops.Limit(hopLimits(c.Settings))
 	l.server.SetPause(pause(c.Settings.Limits))
 	l.current = c
@@ -59,19 +59,19 @@
 	c := l.current
 	next, fixed, err := c.Reload(os.Getenv)
 	if err != nil {
-		l.book.Invalid.Add(1)
+		l.book.ConfigsRejected.Add(1)
 		slog.Error("reload: the old configuration stays", "err", err)
 		return
 	}
 	if len(fixed) > 0 {
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
-	next.Settings = platform.Watched(next.Settings)
+	next.Settings = platform.ForWatch(next.Settings)
 	next.Settings.Processes = c.Settings.Processes // not the file's to say
 	l.take(next)
 	l.core.Retune(next.Settings)
 	l.watch.Follow(next.Discovery)
-	l.book.Accepted.Add(1)
+	l.book.ConfigsAccepted.Add(1)
 	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery, "classes", len(next.Settings.Classes))
 }
 
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -59,7 +59,7 @@
 	if place, err = takePlace(c, listener, own); err != nil {
 		return err
 	}
-	c.Settings = platform.Watched(c.Settings)
+	c.Settings = platform.ForWatch(c.Settings)
 	// A node's start is one of many, a successor's its own.
 	c.Settings.AskNow = c.Settings.AskNow || place.IsSiblingAlive()
 	hops := upstream.New(ctx, hopLimits(c.Settings))
@@ -82,7 +82,7 @@
 	}
 	server := downstream.New(core, hops, limits)
 	lists.listed = func(n int) { server.Limit(room.callers(n)) }
-	book := &metrics.Book{}
+	book := &metrics.Registry{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
 	server.Figures = book
@@ -97,7 +97,7 @@
 	if resume != nil {
 		server.Continuities = resume.sessions
 	}
-	if err := startMgmt(ctx, &parts, c.Mgmt, operations{server, hops, core, book}); err != nil {
+	if err := startMgmt(ctx, &parts, c.AdminAddr, operations{server, hops, core, book}); err != nil {
 		return err
 	}
 	if err := startFleet(ctx, &parts, own.Fleet, core); err != nil {
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -92,14 +92,14 @@
 			return
 		}
 	}
-	h.reply = simproto.AppendFault(h.reply, d.Instance, err.Error())
+	h.reply = simproto.AppendError(h.reply, d.Instance, err.Error())
 }
 
 // handle runs one event; a panic becomes the instance's fault line.
 func (h *host) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
 	defer func() {
 		if p := recover(); p != nil {
-			h.reply = simproto.AppendFault(h.reply, d.Instance, fmt.Sprint(p))
+			h.reply = simproto.AppendError(h.reply, d.Instance, fmt.Sprint(p))
 			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
 		}
 	}()
--- a/internal/admin/mgmt.go
+++ b/internal/admin/mgmt.go
@@ -18,7 +18,7 @@
 
 const (
 	// Callers is how many may call at once, and so how many sockets they take.
-	Callers = 16
+	MaxCalls = 16
 	// patience is how long a caller may take for its line.
 	patience = 3 * time.Second
 	// glance is what a caller who has to make room is still given for a line that
@@ -33,10 +33,10 @@
 
 // Node is what operators ask about and tell. Its methods return at once.
 type Node interface {
-	TakesClients() bool // this process takes clients
-	Figures() string    // lines of figures, each with its end
-	LameDuck()          // empties the node; again, it changes nothing
-	Rejoin()            // ends that; without it, it changes nothing
+	AcceptsClients() bool // this process takes clients
+	Metrics() string      // lines of figures, each with its end
+	LameDuck()            // empties the node; again, it changes nothing
+	Rejoin()              // ends that; without it, it changes nothing
 }
 
 // Server answers operators.
@@ -51,13 +51,13 @@
 }
 
 // New returns a Server for node.
-func New(node Node) *Server { return &Server{node: node, slots: make(chan struct{}, Callers)} }
+func New(node Node) *Server { return &Server{node: node, slots: make(chan struct{}, MaxCalls)} }
 
 // Serve accepts callers until the listener is closed, and waits for those that are
 // there.
 func (s *Server) Serve(listener net.Listener) error {
 	defer s.wg.Wait()
-	defer s.makeRoom(Callers)
+	defer s.makeRoom(MaxCalls)
 	for {
 		conn, err := listener.Accept()
 		switch {
@@ -71,7 +71,7 @@
 		select {
 		case s.slots <- struct{}{}:
 		default: // half at once, so that a crowd of silent ones delays nobody for long
-			s.makeRoom(Callers / 2)
+			s.makeRoom(MaxCalls / 2)
 			s.slots <- struct{}{}
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(patience))
@@ -131,12 +131,12 @@
 func (s *Server) answer(call string, conn net.Conn) string {
 	switch call {
 	case "PING":
-		if s.node.TakesClients() {
+		if s.node.AcceptsClients() {
 			return "200 OK"
 		}
 		return "400 takes no clients"
 	case "INFO":
-		return s.node.Figures() + "EOF"
+		return s.node.Metrics() + "EOF"
 	case "LAMEDUCK":
 		s.node.LameDuck()
 		return "200 emptying"
--- a/internal/admin/mgmt_test.go
+++ b/internal/admin/mgmt_test.go
@@ -19,10 +19,10 @@
 	lames, rejoins atomic.Int32
 }
 
-func (n *node) TakesClients() bool { return !n.away.Load() }
-func (n *node) Figures() string    { return "balancer.open_requests:14|g\r\n" }
-func (n *node) LameDuck()          { n.lames.Add(1); n.away.Store(true) }
-func (n *node) Rejoin()            { n.rejoins.Add(1); n.away.Store(false) }
+func (n *node) AcceptsClients() bool { return !n.away.Load() }
+func (n *node) Metrics() string      { return "balancer.open_requests:14|g\r\n" }
+func (n *node) LameDuck()            { n.lames.Add(1); n.away.Store(true) }
+func (n *node) Rejoin()              { n.rejoins.Add(1); n.away.Store(false) }
 
 func start(t testing.TB) (addr string, n *node) {
 	t.Helper()
@@ -97,14 +97,14 @@
 // neither do many calls at once.
 func TestCrowd(t *testing.T) {
 	addr, _ := start(t)
-	for i := range 8 * Callers {
+	for i := range 8 * MaxCalls {
 		dial(t, addr, []string{"", "PIN", strings.Repeat("P", 3000)}[i%3])
 	}
 	answers := make(chan string)
-	for range 4 * Callers {
+	for range 4 * MaxCalls {
 		go func() { answers <- call(t, addr, "PING\r\n") }()
 	}
-	for range 4 * Callers {
+	for range 4 * MaxCalls {
 		if a := <-answers; a != "200 OK\r\n" {
 			t.Errorf("answered %q", a)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,15 +17,15 @@
 
 // Config is what the node is told at its start.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Mgmt      string // where operators call; empty for nowhere
-	Inherited int    // the descriptor of the listening socket for clients; 0 if there is none
-	Seed      uint64
-	Limits    Limits
-	Known     discovery.Update // the list that this node had last; may be old
-	Settings  balance.Settings
+	Name        string
+	Listen      string
+	Discovery   string
+	AdminAddr   string // where operators call; empty for nowhere
+	InheritedFD int    // the descriptor of the listening socket for clients; 0 if there is none
+	Seed        uint64
+	Limits      Limits
+	Known       discovery.Update // the list that this node had last; may be old
+	Settings    balance.Settings
 
 	keys map[string]any // the file's keys as they are nested, for a later one to be held against
 }
@@ -120,12 +120,12 @@
 		return c, err
 	}
 	if f.Mgmt != "" || getenv(mgmtVariable) != "" {
-		if c.Mgmt, err = address("mgmt", mgmtVariable, f.Mgmt, getenv); err != nil {
+		if c.AdminAddr, err = address("mgmt", mgmtVariable, f.Mgmt, getenv); err != nil {
 			return c, err
 		}
 	}
 	if fd := getenv(inheritedVariable); fd != "" {
-		if c.Inherited, err = strconv.Atoi(fd); err != nil || c.Inherited <= 2 {
+		if c.InheritedFD, err = strconv.Atoi(fd); err != nil || c.InheritedFD <= 2 {
 			return c, fmt.Errorf("%s: %q is no descriptor above 2", inheritedVariable, fd)
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -117,7 +117,7 @@
 	}{
 		{`127.2.0.1:8500`, `127.2.0.9:8500`, nil, func(c Config) bool { return c.Discovery == "127.2.0.9:8500" }},
 		{`"sockets":4096`, `"sockets":512`, []string{"limits"}, func(c Config) bool { return c.Limits.Sockets == 4096 }},
-		{`"127.0.0.4:15000"`, `"127.0.0.4:15001"`, []string{"mgmt"}, func(c Config) bool { return c.Mgmt == "127.0.0.4:15000" }},
+		{`"127.0.0.4:15000"`, `"127.0.0.4:15001"`, []string{"mgmt"}, func(c Config) bool { return c.AdminAddr == "127.0.0.4:15000" }},
 		{`"mostTries":6`, `"mostTries":2`, nil, func(c Config) bool { return c.Settings.Limits.MaxAttempts == 2 }},
 		{class, class + "," + strings.Replace(class, "feed", "feed_new", 1), nil, func(c Config) bool {
 			return len(c.Settings.Classes) == 2 && c.Settings.Classes[1].Name == "feed_new"
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -30,7 +30,7 @@
 	}
 	for key, same := range map[string]bool{
 		"name": next.Name == c.Name, "listen": next.Listen == c.Listen, "seed": next.Seed == c.Seed,
-		"limits": next.Limits == c.Limits, "mgmt": next.Mgmt == c.Mgmt,
+		"limits": next.Limits == c.Limits, "mgmt": next.AdminAddr == c.AdminAddr,
 	} {
 		if !same {
 			fixed = append(fixed, key)
--- a/internal/config/stored_test.go
+++ b/internal/config/stored_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := Config{Name: "n3", Listen: "127.0.0.4:7070", Discovery: "127.2.0.1:8500", Mgmt: "127.0.0.4:15000",
+	want := Config{Name: "n3", Listen: "127.0.0.4:7070", Discovery: "127.2.0.1:8500", AdminAddr: "127.0.0.4:15000",
 		Seed: 0x8c1f30d27a5be964, Limits: Limits{Cores: 1.5, MemoryMB: 2048, Sockets: 4096},
 		Known: discovery.Update{Kind: balance.ListFull, Generation: 41, Entries: []discovery.Entry{{Addr: "127.1.0.18:7070",
 			ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3, Started: 7 * time.Second}}}},
@@ -33,7 +33,7 @@
 		}
 	}
 	check(nil)
-	want.Name, want.Listen, want.Discovery, want.Mgmt, want.Inherited = "n4", "127.0.0.5:1", "127.0.0.5:2", "127.0.0.5:3", 4
+	want.Name, want.Listen, want.Discovery, want.AdminAddr, want.InheritedFD = "n4", "127.0.0.5:1", "127.0.0.5:2", "127.0.0.5:3", 4
 	check(map[string]string{"BALANCER_NAME": "n4", "BALANCER_LISTEN": "127.0.0.5:1", "BALANCER_DISCOVERY": "127.0.0.5:2",
 		"BALANCER_MGMT": "127.0.0.5:3", "BALANCER_INHERITED_FD": "4"})
 }
--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -26,7 +26,7 @@
 // Continuities gives a caller that asks for it what lets it go on where it was
 // when it is moved; nil if nothing does.
 type Continuities interface {
-	Continuity(o *lineproto.Open) proxy.Continuity
+	Continuity(o *lineproto.ConnectRequest) proxy.Continuity
 }
 
 // Limits bound what callers may use.
@@ -42,8 +42,8 @@
 
 // Server serves callers.
 type Server struct {
-	Continuities Continuities  // nil where it is not switched on; set before Serve
-	Figures      *metrics.Book // nil if nobody asks; set before Serve
+	Continuities Continuities      // nil where it is not switched on; set before Serve
+	Figures      *metrics.Registry // nil if nobody asks; set before Serve
 
 	decider  Decider
 	branches dispatch.Branches // to next hops of the line protocol
@@ -95,7 +95,7 @@
 }
 
 // TakesClients tells whether newcomers are welcome.
-func (s *Server) TakesClients() bool {
+func (s *Server) AcceptsClients() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.accepts && !s.leaving
@@ -104,7 +104,7 @@
 // Adopt goes on with what another process has handed over. If it is false the
 // connections stay the giver's.
 func (s *Server) Adopt(st proxy.Standing, caller, hop net.Conn) bool {
-	t := proxy.Inherit(st, lineproto.Front{}, s.decider, caller, hop)
+	t := proxy.Inherit(st, lineproto.Codec{}, s.decider, caller, hop)
 	t.Figures = s.Figures.Class(st.Class)
 	s.mu.Lock()
 	ended := s.ended
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -83,7 +83,7 @@
 		End: begun.Add(900 * time.Millisecond)}
 	drained := make(chan time.Duration, 1)
 	go func() { s.Drain(plan); drained <- time.Since(begun) }()
-	for s.TakesClients() {
+	for s.AcceptsClients() {
 		time.Sleep(time.Millisecond)
 	}
 	if text := all(t, come("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -42,7 +42,7 @@
 		}
 		if string(text) == lineproto.Ping && asked < pings {
 			answer := lineproto.Pong
-			if !s.TakesClients() {
+			if !s.AcceptsClients() {
 				answer = s.busy()
 			}
 			if err := l.WriteText(answer, v.deadline); err != nil {
@@ -51,7 +51,7 @@
 			}
 			continue
 		}
-		open, err := lineproto.ParseOpen(text)
+		open, err := lineproto.ParseConnectRequest(text)
 		if err != nil {
 			s.reject(v, l, err)
 			return
@@ -75,18 +75,18 @@
 }
 
 // open runs a transaction to its end.
-func (s *Server) open(v *visitor, l *bufconn.Leg, o lineproto.Open) {
-	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Realm, At: o.At,
-		Hint: o.Hint, Retry: o.Retry, Returned: o.Again, Deadline: time.Now().Add(min(o.Wait, longestWait) - margin)},
-		&o, lineproto.Front{}, s.decider, l)
+func (s *Server) open(v *visitor, l *bufconn.Leg, o lineproto.ConnectRequest) {
+	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, At: o.Endpoint,
+		Hint: o.Hint, Retry: o.Retry, Returned: o.Returned, Deadline: time.Now().Add(min(o.Patience, longestWait) - margin)},
+		&o, lineproto.Codec{}, s.decider, l)
 	t.Figures = s.Figures.Class(o.Class)
 	if !s.admit(t, v) {
 		if s.seeOff(v, l, s.busy()) == nil {
-			t.Figures.Throttled()
+			t.Figures.Rejected()
 		}
 		return
 	}
-	if s.Continuities != nil && o.Resume != "" {
+	if s.Continuities != nil && o.ResumeToken != "" {
 		t.Continuity = s.Continuities.Continuity(&o)
 	}
 	s.decider.Submit(t, s.branches)
@@ -124,4 +124,4 @@
 }
 
 // busy words the busy answer to who is refused unseen.
-func (s *Server) busy() string { return lineproto.Front{}.Busy(time.Duration(s.pause.Load())) }
+func (s *Server) busy() string { return lineproto.Codec{}.Busy(time.Duration(s.pause.Load())) }
--- a/internal/flowtable/evidence.go
+++ b/internal/flowtable/evidence.go
@@ -17,7 +17,7 @@
 
 // Evidence is what speaks for a next hop being there: answers to flows, where it gives
 // any, and to whatever else asks for its health. Its zero value has none yet.
-type Evidence struct {
+type LivenessEvidence struct {
 	sent, answered float64 // until it was last heard of; halved now and then, as habits change
 	unanswered     int     // sent since then
 	since          time.Duration
@@ -26,14 +26,14 @@
 }
 
 // Sent notes a datagram to it.
-func (e *Evidence) Sent(now time.Duration) {
+func (e *LivenessEvidence) Sent(now time.Duration) {
 	if e.unanswered++; e.unanswered == 1 {
 		e.since = now
 	}
 }
 
 // Heard notes an answer to a flow.
-func (e *Evidence) Heard() {
+func (e *LivenessEvidence) Received() {
 	e.sent += float64(e.unanswered)
 	e.answered++
 	e.unanswered = 0
@@ -43,7 +43,7 @@
 }
 
 // Asked notes whether it answered what asks for its health.
-func (e *Evidence) Asked(now time.Duration, ok bool) {
+func (e *LivenessEvidence) ProbeAnswered(now time.Duration, ok bool) {
 	switch {
 	case ok:
 		e.failed = false
@@ -54,11 +54,11 @@
 
 // Left notes that its flows have left it: what they were not answered is over with them,
 // and whoever comes next finds out anew. Its habit stays known.
-func (e *Evidence) Left() { e.unanswered, e.failed = 0, false }
+func (e *LivenessEvidence) FlowRemoved() { e.unanswered, e.failed = 0, false }
 
 // Silent tells whether it is to be left. That what asks for its health is answered does
 // not save one that used to answer its flows: a hung one may do just that.
-func (e *Evidence) Silent(now time.Duration, o SilenceOptions) bool {
+func (e *LivenessEvidence) IsSilent(now time.Duration, o SilenceOptions) bool {
 	if o.After <= 0 {
 		return false
 	}
--- a/internal/flowtable/limits_test.go
+++ b/internal/flowtable/limits_test.go
@@ -53,10 +53,10 @@
 // or dropped, once.
 func TestWaiting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := Bounds{rapid.IntRange(0, 4).Draw(t, "count"), rapid.IntRange(0, 40).Draw(t, "bytes")}
-		all := Room{rapid.IntRange(0, 8).Draw(t, "all"), rapid.IntRange(0, 60).Draw(t, "all bytes")}
+		b := QueueLimit{rapid.IntRange(0, 4).Draw(t, "count"), rapid.IntRange(0, 40).Draw(t, "bytes")}
+		all := QueueBudget{rapid.IntRange(0, 8).Draw(t, "all"), rapid.IntRange(0, 60).Draw(t, "all bytes")}
 		room := all
-		var queues [3]Waiting
+		var queues [3]Queue
 		in, out, dropped := 0, 0, 0
 		last := [3]int{-1, -1, -1}
 		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -94,7 +94,7 @@
 // The newest go first where they shall, and a line of many that nobody wants any
 // more does not grow.
 func TestPaceNewest(t *testing.T) {
-	p := Pace{Rate: 1, Burst: 2, Newest: true}
+	p := Pacer{Rate: 1, Burst: 2, NewestFirst: true}
 	for i := range 100_000 {
 		p.Add(Ref{Index: int32(i), Gen: uint32(min(1, 99_990-min(99_990, i)))}, wanted) // the last ten are wanted
 	}
@@ -112,7 +112,7 @@
 }
 
 func TestPace(t *testing.T) {
-	p := Pace{Rate: 100, Burst: 10}
+	p := Pacer{Rate: 100, Burst: 10}
 	for i := range 3000 {
 		p.Add(Ref{Index: int32(i)}, wanted)
 		p.Add(Ref{Index: int32(i), Gen: 1}, wanted) // nobody wants it any more: it takes no turn
--- a/internal/flowtable/pace.go
+++ b/internal/flowtable/pace.go
@@ -5,20 +5,20 @@
 // Pace spreads placements that come in a burst, such as those of all flows of a
 // server that is lost: so many may be asked for at once, so many a second after
 // that. Who waits stays in order; the decision module keeps its own budgets besides.
-type Pace struct {
-	Rate   float64 // a second
-	Burst  float64
-	Newest bool // first: in a flood the oldest lose their places before it is their turn
-	room   int  // of the queue, before those that nobody wants are looked for
-	tokens float64
-	at     time.Duration
-	began  bool
-	queue  []Ref
-	head   int
+type Pacer struct {
+	Rate        float64 // a second
+	Burst       float64
+	NewestFirst bool // first: in a flood the oldest lose their places before it is their turn
+	room        int  // of the queue, before those that nobody wants are looked for
+	tokens      float64
+	at          time.Duration
+	began       bool
+	queue       []Ref
+	head        int
 }
 
 // Add puts a flow into the line. Those that still no longer wants leave it.
-func (p *Pace) Add(r Ref, still func(Ref) bool) {
+func (p *Pacer) Add(r Ref, still func(Ref) bool) {
 	if len(p.queue) > p.room {
 		kept := p.queue[:0]
 		for _, one := range p.queue[p.head:] {
@@ -32,12 +32,12 @@
 }
 
 // Len is how many wait.
-func (p *Pace) Len() int { return len(p.queue) - p.head }
+func (p *Pacer) Len() int { return len(p.queue) - p.head }
 
 // Next hands over a flow whose turn it is. It is false if none is: wait tells how
 // long until one may be, 0 if nobody waits. Flows that still no longer wants take no
 // turn; in a flood most have lost their places by the time they are reached.
-func (p *Pace) Next(now time.Duration, still func(Ref) bool) (r Ref, ok bool, wait time.Duration) {
+func (p *Pacer) Next(now time.Duration, still func(Ref) bool) (r Ref, ok bool, wait time.Duration) {
 	if !p.began {
 		p.began, p.tokens, p.at = true, p.Burst, now
 	}
@@ -58,16 +58,16 @@
 	return p.take(), true, 0
 }
 
-func (p *Pace) next() Ref {
-	if p.Newest {
+func (p *Pacer) next() Ref {
+	if p.NewestFirst {
 		return p.queue[len(p.queue)-1]
 	}
 	return p.queue[p.head]
 }
 
-func (p *Pace) take() Ref {
+func (p *Pacer) take() Ref {
 	r := p.next()
-	if p.Newest {
+	if p.NewestFirst {
 		p.queue = p.queue[:len(p.queue)-1]
 		return r
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -34,13 +34,13 @@
 
 // Options size a table.
 type Options struct {
-	Entries int           // 1 to 1<<30
-	Idle    time.Duration // a flow silent for so long is forgotten; at least 64 of the clock's units
-	Policy  Policy
-	Share   float64       // with Reserve: of the table, for settled flows alone; 0 to 1
-	Settled int           // a flow has settled after so many datagrams
-	After   time.Duration // that came over at least so long
-	Seed    maphash.Seed  // kept from whoever chooses addresses: collisions can't be made
+	Entries          int           // 1 to 1<<30
+	IdleTimeout      time.Duration // a flow silent for so long is forgotten; at least 64 of the clock's units
+	Policy           Policy
+	ReservedShare    float64       // with Reserve: of the table, for settled flows alone; 0 to 1
+	SettledDatagrams int           // a flow has settled after so many datagrams
+	SettledAge       time.Duration // that came over at least so long
+	Seed             maphash.Seed  // kept from whoever chooses addresses: collisions can't be made
 }
 
 // Ref is a place in the table, for as long as one flow has it.
@@ -107,7 +107,7 @@
 		size *= 2
 	}
 	t := &Table{o: o, entries: make([]entry, o.Entries), index: make([]int32, size), mask: uint32(size - 1),
-		length: max(1, o.Idle/slots), oldest: none, youngest: none, walking: none}
+		length: max(1, o.IdleTimeout/slots), oldest: none, youngest: none, walking: none}
 	for i := range t.index {
 		t.index[i] = none
 	}
@@ -135,7 +135,7 @@
 }
 
 // Valid tells whether the flow that had the place still has it.
-func (t *Table) Valid(r Ref) bool {
+func (t *Table) IsValid(r Ref) bool {
 	return r.Index >= 0 && int(r.Index) < len(t.entries) && t.entries[r.Index].used && t.entries[r.Index].gen == r.Gen
 }
 
@@ -143,7 +143,7 @@
 func (t *Table) Key(r Ref) Key { return t.entries[r.Index].key }
 
 // Settled tells whether the flow at a valid place has settled.
-func (t *Table) Settled(r Ref) bool { return t.entries[r.Index].settled }
+func (t *Table) IsSettled(r Ref) bool { return t.entries[r.Index].settled }
 
 // Touch notes a datagram of the flow at a valid place.
 func (t *Table) Touch(r Ref, now time.Duration) {
@@ -151,7 +151,7 @@
 	e := &t.entries[r.Index]
 	e.last = t.now
 	if !e.settled {
-		if e.count++; int(e.count) >= t.o.Settled && t.now-e.born >= t.o.After {
+		if e.count++; int(e.count) >= t.o.SettledDatagrams && t.now-e.born >= t.o.SettledAge {
 			t.unlinkYoung(r.Index)
 			e.settled = true
 		}
@@ -177,7 +177,7 @@
 	t.index[at] = i
 	t.used++
 	t.arm(i)
-	if t.o.Settled <= 1 && t.o.After <= 0 {
+	if t.o.SettledDatagrams <= 1 && t.o.SettledAge <= 0 {
 		e.settled = true
 		e.youngNext, e.youngPrev = none, none
 	} else {
@@ -225,7 +225,7 @@
 			i := t.walked
 			e := &t.entries[i]
 			t.walked = e.slotNext
-			if e.last+t.o.Idle > t.now { // it was heard of since it was put here
+			if e.last+t.o.IdleTimeout > t.now { // it was heard of since it was put here
 				t.disarm(i)
 				t.arm(i)
 				continue
@@ -250,7 +250,7 @@
 	full := t.free == none
 	switch t.o.Policy {
 	case Reserve:
-		open := len(t.entries) - int(t.o.Share*float64(len(t.entries)))
+		open := len(t.entries) - int(t.o.ReservedShare*float64(len(t.entries)))
 		if !full && t.young < open {
 			return true
 		}
@@ -299,7 +299,7 @@
 
 // due is the tick in which the entry expires: the first that begins after it.
 func (t *Table) due(i int32) int64 {
-	return max(int64((t.entries[i].last+t.o.Idle)/t.length)+1, t.tick+1)
+	return max(int64((t.entries[i].last+t.o.IdleTimeout)/t.length)+1, t.tick+1)
 }
 
 func (t *Table) arm(i int32) {
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -10,7 +10,7 @@
 )
 
 func options(entries int, p Policy) Options {
-	return Options{Entries: entries, Idle: 640 * time.Millisecond, Policy: p, Share: 0.5, Settled: 3, After: 20 * time.Millisecond,
+	return Options{Entries: entries, IdleTimeout: 640 * time.Millisecond, Policy: p, ReservedShare: 0.5, SettledDatagrams: 3, SettledAge: 20 * time.Millisecond,
 		Seed: maphash.MakeSeed()}
 }
 
@@ -42,10 +42,10 @@
 				table, m := NewTable(o), model{flows: map[Key]*modelFlow{}}
 				var now time.Duration
 				var old []Ref
-				tick := o.Idle / slots
+				tick := o.IdleTimeout / slots
 				forget := func(r Ref) {
 					f := m.flows[table.Key(r)]
-					if f == nil || f.ref != r || !table.Valid(r) {
+					if f == nil || f.ref != r || !table.IsValid(r) {
 						t.Fatalf("forgets %v, which nobody has", r)
 					}
 					delete(m.flows, table.Key(r))
@@ -58,14 +58,14 @@
 					case 2:
 						for done := false; !done; {
 							done = table.Advance(now, rapid.IntRange(1, 5).Draw(t, "most"), func(r Ref) {
-								if f := m.flows[table.Key(r)]; f != nil && f.last+o.Idle > table.now {
-									t.Fatalf("expired %v early", o.Idle-(table.now-f.last))
+								if f := m.flows[table.Key(r)]; f != nil && f.last+o.IdleTimeout > table.now {
+									t.Fatalf("expired %v early", o.IdleTimeout-(table.now-f.last))
 								}
 								forget(r)
 							})
 						}
 						for k, f := range m.flows {
-							if table.now-f.last > o.Idle+2*tick {
+							if table.now-f.last > o.IdleTimeout+2*tick {
 								t.Fatalf("%v has been silent for %v and is still there", k, table.now-f.last)
 							}
 						}
@@ -86,11 +86,11 @@
 						if ok {
 							table.Touch(r, now)
 							f.last = table.now
-							if f.count++; !f.settled && f.count >= o.Settled && f.last-f.born >= o.After {
+							if f.count++; !f.settled && f.count >= o.SettledDatagrams && f.last-f.born >= o.SettledAge {
 								f.settled = true
 							}
-							if table.Settled(r) != f.settled {
-								t.Fatalf("settled %v, want %v", table.Settled(r), f.settled)
+							if table.IsSettled(r) != f.settled {
+								t.Fatalf("settled %v, want %v", table.IsSettled(r), f.settled)
 							}
 							continue
 						}
@@ -108,7 +108,7 @@
 						if !f.settled {
 							wantYoung++
 						}
-						if !table.Valid(f.ref) {
+						if !table.IsValid(f.ref) {
 							t.Fatal("a flow that was never forgotten has no place")
 						}
 					}
@@ -117,7 +117,7 @@
 					}
 				}
 				for _, r := range old {
-					if table.Valid(r) {
+					if table.IsValid(r) {
 						t.Fatalf("%v is valid again", r)
 					}
 				}
@@ -157,11 +157,11 @@
 		if v != Admitted || (gaveWay != nil) != full {
 			t.Fatalf("idle: full %v, verdict %v, gave way %+v", full, v, gaveWay)
 		}
-		if gaveWay != nil && idlest != nil && gaveWay.last > idlest.last+2*o.Idle/slots {
+		if gaveWay != nil && idlest != nil && gaveWay.last > idlest.last+2*o.IdleTimeout/slots {
 			t.Fatalf("idle: one heard of at %v gave way, another was silent since %v", gaveWay.last, idlest.last)
 		}
 	case Reserve:
-		open := o.Entries - int(o.Share*float64(o.Entries))
+		open := o.Entries - int(o.ReservedShare*float64(o.Entries))
 		must := full || young >= open
 		switch {
 		case gaveWay != nil && gaveWay.settled:
@@ -198,7 +198,7 @@
 		}
 	}
 	for i, r := range steady {
-		if !table.Valid(r) {
+		if !table.IsValid(r) {
 			t.Fatalf("steady flow %d was pushed out", i)
 		}
 	}
@@ -211,7 +211,7 @@
 	for _, entries := range []int{10_000, 1_000_000, 10_000_000} {
 		for _, share := range []int{10, 100} {
 			o := options(entries, Reserve)
-			o.Share, o.Settled, o.After = 0, 1, 0
+			o.ReservedShare, o.SettledDatagrams, o.SettledAge = 0, 1, 0
 			table := NewTable(o)
 			n := entries / 100 * share
 			key := func(i int) (k Key) {
--- a/internal/flowtable/waiting.go
+++ b/internal/flowtable/waiting.go
@@ -1,27 +1,27 @@
 package flowtable
 
 // Room bounds the datagrams that wait for decisions, in all flows together.
-type Room struct {
+type QueueBudget struct {
 	Count, Bytes int // that may still wait
 }
 
 // Bounds are those of one flow's queue.
-type Bounds struct{ Count, Bytes int }
+type QueueLimit struct{ Count, Bytes int }
 
 // Waiting is the datagrams of one flow that wait for a decision, the oldest first.
 // Its zero value is empty.
-type Waiting struct {
+type Queue struct {
 	list  [][]byte
 	bytes int
 }
 
 // Len is how many wait.
-func (w *Waiting) Len() int { return len(w.list) }
+func (w *Queue) Len() int { return len(w.list) }
 
 // Put lets a datagram wait, which is then the queue's. Where there is no room the
 // oldest of this flow make it, never those of another: dropped is told of each, and
 // of the datagram itself if there is no room for it at all.
-func (w *Waiting) Put(d []byte, b Bounds, r *Room, dropped func([]byte)) {
+func (w *Queue) Put(d []byte, b QueueLimit, r *QueueBudget, dropped func([]byte)) {
 	for len(w.list) > 0 && (len(w.list) >= b.Count || w.bytes+len(d) > b.Bytes || r.Count < 1 || r.Bytes < len(d)) {
 		dropped(w.take(r))
 	}
@@ -35,7 +35,7 @@
 	r.Bytes -= len(d)
 }
 
-func (w *Waiting) take(r *Room) []byte {
+func (w *Queue) take(r *QueueBudget) []byte {
 	d := w.list[0]
 	w.list = w.list[1:]
 	w.bytes -= len(d)
@@ -45,7 +45,7 @@
 }
 
 // Drain hands over all that wait, in order.
-func (w *Waiting) Drain(r *Room, to func([]byte)) {
+func (w *Queue) Drain(r *QueueBudget, to func([]byte)) {
 	for len(w.list) > 0 {
 		to(w.take(r))
 	}
--- a/internal/hotrestart/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -26,7 +26,7 @@
 func (n *node) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
 	n.asked <- struct{}{}
 	<-n.may
-	n.runs.Go(proxy.Inherit(s, lineproto.Front{}, n, caller, hop).Run)
+	n.runs.Go(proxy.Inherit(s, lineproto.Codec{}, n, caller, hop).Run)
 	return true
 }
 
@@ -35,7 +35,7 @@
 	t.Helper()
 	caller, client := pair(t)
 	hop, feed := pair(t)
-	x = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Front{}, n, bufconn.New(caller))
+	x = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Codec{}, n, bufconn.New(caller))
 	done := make(chan struct{})
 	go func() { defer close(done); x.Run() }()
 	if !x.Up("UP r1", "s1", bufconn.New(hop)) {
--- a/internal/lineproto/front.go
+++ b/internal/lineproto/front.go
@@ -10,10 +10,10 @@
 
 // Front words a transaction's final answers in the platform's protocol and
 // notices what a relayed line says.
-type Front struct{}
+type Codec struct{}
 
 // Busy is the busy answer, with the pause that is asked of the caller.
-func (Front) Busy(pause time.Duration) string {
+func (Codec) Busy(pause time.Duration) string {
 	if ms := pause.Milliseconds(); ms > 0 {
 		return "BUSY " + strconv.FormatInt(ms, 10)
 	}
@@ -21,13 +21,13 @@
 }
 
 // Failed is the answer that promises nothing.
-func (Front) Failed() string { return Error }
+func (Codec) Failed() string { return Error }
 
 // Move asks the caller to come again.
-func (Front) Move() string { return Move }
+func (Codec) Move() string { return Move }
 
 // Notice tells what a next hop's line after UP says.
-func (Front) Notice(text []byte) proxy.Notice {
+func (Codec) Notice(text []byte) proxy.Notice {
 	text = bytes.TrimRight(text, "\r\n")
 	switch {
 	case bytes.HasPrefix(text, []byte("LOAD ")):
--- a/internal/lineproto/line.go
+++ b/internal/lineproto/line.go
@@ -32,43 +32,43 @@
 const heaviest = 1e9
 
 // Open is a first line that opens a connection.
-type Open struct {
-	ID, Key, Class, Group, At string
-	Realm                     string        // the tenant; empty where the line names none
-	Wait                      time.Duration // d: how long the caller waits for UP
-	Hint                      float64
-	Retry, Again              bool
-	Resume                    string // rs: a resume token, or 1 to be given one; empty if not asked for
-	After                     string // rp: the position that the caller has, if it says so
-	head, tail                string // the line as it came, before and after d's value
+type ConnectRequest struct {
+	ID, Key, Class, Group, Endpoint string
+	Tenant                          string        // the tenant; empty where the line names none
+	Patience                        time.Duration // d: how long the caller waits for UP
+	Hint                            float64
+	Retry, Returned                 bool
+	ResumeToken                     string // rs: a resume token, or 1 to be given one; empty if not asked for
+	ResumePosition                  string // rp: the position that the caller has, if it says so
+	head, tail                      string // the line as it came, before and after d's value
 }
 
 // ParseOpen reads a first line. The line may only hold printable ASCII.
-func ParseOpen(text []byte) (Open, error) {
+func ParseConnectRequest(text []byte) (ConnectRequest, error) {
 	for _, c := range text {
 		if c < ' ' || c > '~' {
-			return Open{}, fmt.Errorf("first line: byte %#x", c)
+			return ConnectRequest{}, fmt.Errorf("first line: byte %#x", c)
 		}
 	}
 	s := string(text)
 	words := strings.Split(s, " ")
 	if len(words) != 4 || words[0] != "OPEN" || words[1] == "" || words[2] == "" {
-		return Open{}, errors.New("first line: want OPEN, id, key and a list of values")
+		return ConnectRequest{}, errors.New("first line: want OPEN, id, key and a list of values")
 	}
-	o := Open{ID: words[1], Key: words[2]}
+	o := ConnectRequest{ID: words[1], Key: words[2]}
 	at := len(s) - len(words[3])
 	var given []string
 	for pair := range strings.SplitSeq(words[3], ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok || name == "" {
-			return Open{}, fmt.Errorf("first line: %.40q is no name and value", pair)
+			return ConnectRequest{}, fmt.Errorf("first line: %.40q is no name and value", pair)
 		}
 		if slices.Contains(given, name) {
-			return Open{}, fmt.Errorf("first line: %.40q given twice", name)
+			return ConnectRequest{}, fmt.Errorf("first line: %.40q given twice", name)
 		}
 		given = append(given, name)
 		if err := o.set(name, value); err != nil {
-			return Open{}, fmt.Errorf("first line: %s: %w", name, err)
+			return ConnectRequest{}, fmt.Errorf("first line: %s: %w", name, err)
 		}
 		if name == "d" {
 			o.head, o.tail = s[:at+2], s[at+len(pair):]
@@ -76,29 +76,29 @@
 		at += len(pair) + 1
 	}
 	if o.Class == "" || o.head == "" {
-		return Open{}, errors.New("first line: c or d is missing")
+		return ConnectRequest{}, errors.New("first line: c or d is missing")
 	}
 	return o, nil
 }
 
-func (o *Open) set(name, value string) error {
+func (o *ConnectRequest) set(name, value string) error {
 	switch name {
 	case "c":
 		o.Class = value
 	case "g":
 		o.Group = value
 	case "realm":
-		o.Realm = value
+		o.Tenant = value
 	case "rs":
-		o.Resume = value
+		o.ResumeToken = value
 	case "rp":
-		o.After = value
+		o.ResumePosition = value
 	case "at":
-		o.At = value
+		o.Endpoint = value
 	case "r":
 		o.Retry = value == "1"
 	case "again":
-		o.Again = value == "1"
+		o.Returned = value == "1"
 	case "h":
 		h, err := number(value)
 		if err == nil && (h < 0 || h > heaviest) {
@@ -114,7 +114,7 @@
 		if ms < 0 || ms > float64(longestWait/time.Millisecond) {
 			return fmt.Errorf("%.40q is out of range", value)
 		}
-		o.Wait = time.Duration(ms * float64(time.Millisecond))
+		o.Patience = time.Duration(ms * float64(time.Millisecond))
 	}
 	return nil // further figures go on as they are
 }
@@ -131,15 +131,15 @@
 
 // Forward returns the line for a next hop: as it came, but for d, which tells
 // the time that is left.
-func (o *Open) Forward(now, deadline time.Time) string {
+func (o *ConnectRequest) Forward(now, deadline time.Time) string {
 	left := max(deadline.Sub(now).Milliseconds(), 0)
 	return o.head + strconv.FormatInt(left, 10) + o.tail
 }
 
 // Conceal takes a resume token out of the line that goes to next hops: whoever has
 // a token can present it. What stays asks for a stream with positions.
-func (o *Open) Conceal() {
-	pair, plain := "rs="+o.Resume, "rs="+Asked
+func (o *ConnectRequest) StripResumption() {
+	pair, plain := "rs="+o.ResumeToken, "rs="+ResumeWanted
 	for _, part := range []*string{&o.head, &o.tail} {
 		// The list is the last word, and its names come once: the pair stands there
 		// behind the list's begin or a comma.
@@ -163,7 +163,7 @@
 	Malformed Reply = iota
 	Up
 	Busy
-	Err
+	ErrReply
 	Bye
 	Moved
 )
@@ -180,7 +180,7 @@
 	case "BUSY":
 		return Busy, reportOrNone(rest)
 	case Error:
-		return Err, reportOrNone(rest)
+		return ErrReply, reportOrNone(rest)
 	case "BYE":
 		return Bye, reportOrNone(rest)
 	case Move:
--- a/internal/lineproto/line_test.go
+++ b/internal/lineproto/line_test.go
@@ -12,38 +12,38 @@
 func TestParseOpen(t *testing.T) {
 	tests := []struct {
 		name, line string
-		want       Open // without its head and tail; zero if the line is malformed
+		want       ConnectRequest // without its head and tail; zero if the line is malformed
 	}{
 		{"all", "OPEN 9b k1 c=chat,d=2000,g=5c,r=1,again=1,at=s-1,h=0.25,new=x",
-			Open{ID: "9b", Key: "k1", Class: "chat", Group: "5c", At: "s-1", Wait: 2 * time.Second, Hint: 0.25,
-				Retry: true, Again: true}},
-		{"least", "OPEN 9b k1 c=chat,d=1.5", Open{ID: "9b", Key: "k1", Class: "chat", Wait: 1500 * time.Microsecond}},
-		{"flags off", "OPEN 9b k1 r=0,again=0,c=chat,d=1", Open{ID: "9b", Key: "k1", Class: "chat", Wait: time.Millisecond}},
-		{"empty", "", Open{}},
-		{"other word", "GET / HTTP/1.1", Open{}},
-		{"lower case", "open 9b k1 c=chat,d=1", Open{}},
-		{"no id", "OPEN  k1 c=chat,d=1", Open{}},
-		{"no list", "OPEN 9b k1", Open{}},
-		{"no class", "OPEN 9b k1 d=1", Open{}},
-		{"no wait", "OPEN 9b k1 c=chat", Open{}},
-		{"wait is a word", "OPEN 9b k1 c=chat,d=soon", Open{}},
-		{"wait is NaN", "OPEN 9b k1 c=chat,d=NaN", Open{}},
-		{"wait is negative", "OPEN 9b k1 c=chat,d=-1", Open{}},
-		{"wait overflows", "OPEN 9b k1 c=chat,d=1e300", Open{}},
-		{"wait twice", "OPEN 9b k1 c=chat,d=1,d=2", Open{}},
-		{"wait is no decimal", "OPEN 9b k1 c=chat,d=0x1p4", Open{}},
-		{"class twice", "OPEN 9b k1 c=chat,d=1,c=feed", Open{}},
-		{"hint is negative", "OPEN 9b k1 c=chat,d=1,h=-1", Open{}},
-		{"hint is beyond any load", "OPEN 9b k1 c=chat,d=1,h=1e300", Open{}},
-		{"hint is infinite", "OPEN 9b k1 c=chat,d=1,h=Inf", Open{}},
-		{"no value", "OPEN 9b k1 c=chat,d=1,g", Open{}},
-		{"extra word", "OPEN 9b k1 c=chat,d=1 x", Open{}},
-		{"binary", "OPEN 9b k\x00 c=chat,d=1", Open{}},
-		{"beyond ASCII", "OPEN 9b k\u00e9 c=chat,d=1", Open{}},
+			ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Group: "5c", Endpoint: "s-1", Patience: 2 * time.Second, Hint: 0.25,
+				Retry: true, Returned: true}},
+		{"least", "OPEN 9b k1 c=chat,d=1.5", ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Patience: 1500 * time.Microsecond}},
+		{"flags off", "OPEN 9b k1 r=0,again=0,c=chat,d=1", ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Patience: time.Millisecond}},
+		{"empty", "", ConnectRequest{}},
+		{"other word", "GET / HTTP/1.1", ConnectRequest{}},
+		{"lower case", "open 9b k1 c=chat,d=1", ConnectRequest{}},
+		{"no id", "OPEN  k1 c=chat,d=1", ConnectRequest{}},
+		{"no list", "OPEN 9b k1", ConnectRequest{}},
+		{"no class", "OPEN 9b k1 d=1", ConnectRequest{}},
+		{"no wait", "OPEN 9b k1 c=chat", ConnectRequest{}},
+		{"wait is a word", "OPEN 9b k1 c=chat,d=soon", ConnectRequest{}},
+		{"wait is NaN", "OPEN 9b k1 c=chat,d=NaN", ConnectRequest{}},
+		{"wait is negative", "OPEN 9b k1 c=chat,d=-1", ConnectRequest{}},
+		{"wait overflows", "OPEN 9b k1 c=chat,d=1e300", ConnectRequest{}},
+		{"wait twice", "OPEN 9b k1 c=chat,d=1,d=2", ConnectRequest{}},
+		{"wait is no decimal", "OPEN 9b k1 c=chat,d=0x1p4", ConnectRequest{}},
+		{"class twice", "OPEN 9b k1 c=chat,d=1,c=feed", ConnectRequest{}},
+		{"hint is negative", "OPEN 9b k1 c=chat,d=1,h=-1", ConnectRequest{}},
+		{"hint is beyond any load", "OPEN 9b k1 c=chat,d=1,h=1e300", ConnectRequest{}},
+		{"hint is infinite", "OPEN 9b k1 c=chat,d=1,h=Inf", ConnectRequest{}},
+		{"no value", "OPEN 9b k1 c=chat,d=1,g", ConnectRequest{}},
+		{"extra word", "OPEN 9b k1 c=chat,d=1 x", ConnectRequest{}},
+		{"binary", "OPEN 9b k\x00 c=chat,d=1", ConnectRequest{}},
+		{"beyond ASCII", "OPEN 9b k\u00e9 c=chat,d=1", ConnectRequest{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := ParseOpen([]byte(tt.line))
+			got, err := ParseConnectRequest([]byte(tt.line))
 			got.head, got.tail = "", ""
 			if (err == nil) != (tt.want.ID != "") || err == nil && got != tt.want {
 				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
@@ -61,7 +61,7 @@
 		{"OPEN 9b k1 c=chat,d=2000", "OPEN 9b k1 c=chat,d=1500"},
 	}
 	for _, tt := range tests {
-		o, err := ParseOpen([]byte(tt.line))
+		o, err := ParseConnectRequest([]byte(tt.line))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,7 @@
 		want Reply
 	}{
 		{"UP r1", Up}, {"UP", Malformed}, {"UPPER r1", Malformed}, {"BUSY", Busy}, {"BUSY x0=0.5", Busy},
-		{"ERR", Err}, {"ERR inflight=7,queue=2", Err}, {"BYE", Bye}, {"MOVE", Moved}, {"", Malformed},
+		{"ERR", ErrReply}, {"ERR inflight=7,queue=2", ErrReply}, {"BYE", Bye}, {"MOVE", Moved}, {"", Malformed},
 		{"SYNTAX", Malformed}, {"\x00\x01", Malformed},
 	}
 	for _, tt := range tests {
@@ -135,7 +135,7 @@
 		{"price 7\r\n", proxy.NoticeOther},
 	}
 	for _, tt := range tests {
-		if got := (Front{}).Notice([]byte(tt.line)); got != tt.want {
+		if got := (Codec{}).Notice([]byte(tt.line)); got != tt.want {
 			t.Errorf("%q: got %d, want %d", tt.line, got, tt.want)
 		}
 	}
@@ -143,7 +143,7 @@
 
 func TestBusy(t *testing.T) {
 	for pause, want := range map[time.Duration]string{0: "BUSY", 250 * time.Millisecond: "BUSY 250", time.Microsecond: "BUSY"} {
-		if got := (Front{}).Busy(pause); got != want {
+		if got := (Codec{}).Busy(pause); got != want {
 			t.Errorf("%v: got %q, want %q", pause, got, want)
 		}
 	}
--- a/internal/lineproto/stream.go
+++ b/internal/lineproto/stream.go
@@ -27,20 +27,20 @@
 //	MOVE TOKEN                  to the caller
 const (
 	// Asked is the value of rs that asks for a resumable stream.
-	Asked    = "1"
-	start    = "START"
-	resumed  = "RESUMED "
-	snapshot = "SNAPSHOT "
-	update   = "UPD "
-	position = "POS "
+	ResumeWanted = "1"
+	start        = "START"
+	resumed      = "RESUMED "
+	snapshot     = "SNAPSHOT "
+	update       = "UPD "
+	position     = "POS "
 )
 
 // Resumable tells whether a next hop's UP line says that it has such streams.
-func Resumable(up string) bool { return strings.HasSuffix(up, " rs="+Asked) }
+func IsResumable(up string) bool { return strings.HasSuffix(up, " rs="+ResumeWanted) }
 
 // Start words the line that starts a stream. came is when its caller did: it can't
 // have seen anything later.
-func Start(o resumetoken.Outcome, came time.Time) string {
+func FormatStreamStart(o resumetoken.Outcome, came time.Time) string {
 	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
 	switch {
 	case o.Resume:
@@ -53,7 +53,7 @@
 
 // Reading follows the position in a stream as its lines pass. Its zero value has
 // none yet.
-type Reading struct {
+type StreamPosition struct {
 	pos   resumetoken.Position
 	known bool
 	left  int // lines of a snapshot that are still to come
@@ -62,10 +62,10 @@
 
 // Position is how far the lines seen so far go. There is none before the stream
 // says so, nor within a snapshot: half of one is nothing to go on from.
-func (r *Reading) Position() (resumetoken.Position, bool) { return r.pos, r.known }
+func (r *StreamPosition) Position() (resumetoken.Position, bool) { return r.pos, r.known }
 
 // Pass takes one line of the next hop's.
-func (r *Reading) Pass(text []byte) {
+func (r *StreamPosition) Observe(text []byte) {
 	if r.left > 0 {
 		if r.left--; r.left == 0 {
 			r.pos, r.known = r.next, true
--- a/internal/lineproto/stream_test.go
+++ b/internal/lineproto/stream_test.go
@@ -26,9 +26,9 @@
 		"snapshot of less than 0":  {"SNAPSHOT c1:9 -2|UPD 10 1 1", ""},
 		"position that is none":    {"RESUMED c0:41|POS here", ""},
 	} {
-		var r Reading
+		var r StreamPosition
 		for l := range strings.SplitSeq(c.lines, "|") {
-			r.Pass([]byte(l + "\r\n"))
+			r.Observe([]byte(l + "\r\n"))
 		}
 		got := ""
 		if p, ok := r.Position(); ok {
@@ -48,7 +48,7 @@
 		"START after=c0:41 at=1234": {Floor: true, Pos: pos},
 		"START resume=c0:41 at=1234 id=01000000000000000000000000000000": {Resume: true, Pos: pos, Nonce: resumetoken.Nonce{1}},
 	} {
-		if got := Start(o, came); got != want {
+		if got := FormatStreamStart(o, came); got != want {
 			t.Errorf("%q, want %q", got, want)
 		}
 	}
@@ -64,11 +64,11 @@
 		{"OPEN rs=TOK rs=TOK c=feed,d=9,rs=TOK,rp=c0:4", "OPEN rs=TOK rs=TOK c=feed,d=9,rs=1,rp=c0:4"},
 		{"OPEN a k c=feed,d=9,rs=1", "OPEN a k c=feed,d=9,rs=1"},
 	} {
-		o, err := ParseOpen([]byte(c.line))
+		o, err := ParseConnectRequest([]byte(c.line))
 		if err != nil {
 			t.Fatal(err)
 		}
-		o.Conceal()
+		o.StripResumption()
 		if got := o.Forward(now, now.Add(9*time.Millisecond)); got != c.want {
 			t.Errorf("%q became %q, want %q", c.line, got, c.want)
 		}
@@ -80,22 +80,22 @@
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		o, err := ParseOpen([]byte(s))
+		o, err := ParseConnectRequest([]byte(s))
 		if err != nil {
 			return
 		}
-		token := o.Resume
-		o.Conceal()
+		token := o.ResumeToken
+		o.StripResumption()
 		now := time.Now()
-		again, err := ParseOpen([]byte(o.Forward(now, now.Add(time.Second))))
+		again, err := ParseConnectRequest([]byte(o.Forward(now, now.Add(time.Second))))
 		if err != nil {
 			t.Fatalf("%q was read, and what goes on is not: %v", s, err)
 		}
-		if again.ID != o.ID || again.Key != o.Key || again.Group != o.Group || again.At != o.At || again.After != o.After {
+		if again.ID != o.ID || again.Key != o.Key || again.Group != o.Group || again.Endpoint != o.Endpoint || again.ResumePosition != o.ResumePosition {
 			t.Errorf("%q changed on its way", s)
 		}
-		if token != "" && again.Resume != Asked {
-			t.Errorf("%q went on with %q", s, again.Resume)
+		if token != "" && again.ResumeToken != ResumeWanted {
+			t.Errorf("%q went on with %q", s, again.ResumeToken)
 		}
 	})
 }
--- a/internal/metrics/figures.go
+++ b/internal/metrics/figures.go
@@ -26,37 +26,37 @@
 }
 
 // Throttled counts one refused.
-func (c *Class) Throttled() {
+func (c *Class) Rejected() {
 	if c != nil {
 		c.throttled.Add(1)
 	}
 }
 
 // Faulted counts one failed.
-func (c *Class) Faulted() {
+func (c *Class) Failed() {
 	if c != nil {
 		c.faulted.Add(1)
 	}
 }
 
 // Relayed counts an attempt written whole to a next hop.
-func (c *Class) Relayed() {
+func (c *Class) Forwarded() {
 	if c != nil {
 		c.relayed.Add(1)
 	}
 }
 
 // Book holds the counts of all classes that settings have named.
-type Book struct {
-	relayed           atomic.Int64
-	Accepted, Invalid atomic.Int64 // configuration files taken, and turned down
+type Registry struct {
+	relayed                          atomic.Int64
+	ConfigsAccepted, ConfigsRejected atomic.Int64 // configuration files taken, and turned down
 
 	mu      sync.Mutex
 	classes []*Class // in order of appearance; never dropped
 }
 
 // Name has the book keep classes of these names; the counts of those that it has stay.
-func (b *Book) Name(names ...string) {
+func (b *Registry) AddClasses(names ...string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, name := range names {
@@ -67,7 +67,7 @@
 }
 
 // Class returns the counts of a class, or nil.
-func (b *Book) Class(name string) *Class {
+func (b *Registry) Class(name string) *Class {
 	if b == nil {
 		return nil
 	}
@@ -76,7 +76,7 @@
 	return b.find(name)
 }
 
-func (b *Book) find(name string) *Class {
+func (b *Registry) find(name string) *Class {
 	if i := slices.IndexFunc(b.classes, func(c *Class) bool { return c.name == name }); i >= 0 {
 		return b.classes[i]
 	}
@@ -87,7 +87,7 @@
 type Gauges struct{ Open, Listed, Avoided int }
 
 // Text words the figures, a line each.
-func (b *Book) Text(g Gauges) string {
+func (b *Registry) Text(g Gauges) string {
 	b.mu.Lock()
 	classes := b.classes
 	b.mu.Unlock()
@@ -103,8 +103,8 @@
 	line("open_requests", int64(g.Open), 'g')
 	line("registry_entries", int64(g.Listed), 'g')
 	line("out_of_rotation", int64(g.Avoided), 'g')
-	line("cfg_accepted", b.Accepted.Load(), 'c')
-	line("cfg_invalid", b.Invalid.Load(), 'c')
+	line("cfg_accepted", b.ConfigsAccepted.Load(), 'c')
+	line("cfg_invalid", b.ConfigsRejected.Load(), 'c')
 	return w.String()
 }
 
--- a/internal/metrics/figures_test.go
+++ b/internal/metrics/figures_test.go
@@ -7,16 +7,16 @@
 )
 
 func TestText(t *testing.T) {
-	var b Book
-	b.Name("feed", "chat")
+	var b Registry
+	b.AddClasses("feed", "chat")
 	b.Class("feed").Fulfilled()
-	b.Class("chat").Throttled()
-	b.Class("chat").Faulted()
-	b.Class("chat").Relayed()
-	b.Name("new", "feed") // chat has vanished, feed stays
-	b.Class("chat").Faulted()
-	b.Accepted.Add(1)
-	b.Invalid.Add(2)
+	b.Class("chat").Rejected()
+	b.Class("chat").Failed()
+	b.Class("chat").Forwarded()
+	b.AddClasses("new", "feed") // chat has vanished, feed stays
+	b.Class("chat").Failed()
+	b.ConfigsAccepted.Add(1)
+	b.ConfigsRejected.Add(2)
 	want := strings.ReplaceAll(`balancer.operations.feed.fulfilled:1|c
 balancer.operations.feed.throttled:0|c
 balancer.operations.feed.faulted:0|c
@@ -41,12 +41,12 @@
 // A stranger's class costs nothing and counts nowhere, and neither does a book that
 // nobody keeps.
 func TestUnnamed(t *testing.T) {
-	var b Book
-	for _, c := range []*Class{b.Class("stranger"), (*Book)(nil).Class("feed")} {
+	var b Registry
+	for _, c := range []*Class{b.Class("stranger"), (*Registry)(nil).Class("feed")} {
 		c.Fulfilled()
-		c.Throttled()
-		c.Faulted()
-		c.Relayed()
+		c.Rejected()
+		c.Failed()
+		c.Forwarded()
 	}
 	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.relayed:0|c") {
 		t.Errorf("got:\n%s", got)
@@ -55,8 +55,8 @@
 
 // A name stands in a line of its own, whatever is in it.
 func TestNames(t *testing.T) {
-	var b Book
-	b.Name("a b:c|d\r\ne")
+	var b Registry
+	b.AddClasses("a b:c|d\r\ne")
 	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.operations.a_b_c_d__e.fulfilled:0|c\r\n") {
 		t.Errorf("got %q", got)
 	}
@@ -64,14 +64,14 @@
 
 // Counting goes on beside reading and naming.
 func TestTogether(t *testing.T) {
-	var b Book
-	b.Name("feed")
+	var b Registry
+	b.AddClasses("feed")
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
 			for range 1000 {
 				b.Class("feed").Fulfilled()
-				b.Name("feed", "other")
+				b.AddClasses("feed", "other")
 				_ = b.Text(Gauges{})
 			}
 		})
--- a/internal/operatorconfig/accounts.go
+++ b/internal/operatorconfig/accounts.go
@@ -15,12 +15,12 @@
 }
 
 // Deal is what package account takes.
-func (l *Fleet) Deal() account.DealConfig {
+func (l *Fleet) AllocationConfig() account.DealConfig {
 	return account.DealConfig{Epoch: l.Epoch.Duration, Hold: l.Hold.Duration, Full: l.Accounts.Members}
 }
 
 func (a *Accounts) check(c *checks, l *Fleet) {
 	c.fault(a.Members < 0 || a.Members > mostMembers, "fleet.accounts.members", a.Members, "0 to 1024")
-	c.fault(a.Members > 0 && !l.Record.On(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
-	c.fault(l.Record.On() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
+	c.fault(a.Members > 0 && !l.ReplicatedLog.IsEnabled(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
+	c.fault(l.ReplicatedLog.IsEnabled() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
 }
--- a/internal/operatorconfig/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -7,29 +7,29 @@
 
 // Fleet is what nodes share with one another, through the agent beside each (coralagent).
 type Fleet struct {
-	Agent     string   `json:"agent"`     // where the agent answers its node; empty for off
-	Name      string   `json:"name"`      // of the member; others must not have it
-	Bind      string   `json:"bind"`      // IP:PORT for gossip, TCP and UDP
-	Advertise string   `json:"advertise"` // where the others reach it, if elsewhere
-	Peers     []string `json:"peers"`     // some other members
-	Key       string   `json:"key"`       // file with the key that all members have
-	Interval  Duration `json:"interval"`  // of gossip
-	Epoch     Duration `json:"epoch"`     // a cold next hop's window, as the settings' tipAfter
-	Hold      Duration `json:"hold"`      // who is silent keeps his part for so long
-	Fresh     Duration `json:"fresh"`     // accusations and retry counts count for so long
-	Retries   float64  `json:"retries"`   // allowed for each first try
-	Shun      float64  `json:"shun"`      // share of next hops that verdicts cover at most
-	Zone      string   `json:"zone"`      // where this member stands; empty for nowhere
-	Record    Record   `json:"record"`
-	Zones     Zones    `json:"zones"`
-	Accounts  Accounts `json:"accounts"`
-	Promises  Promises `json:"promises"`
+	Agent         string        `json:"agent"`     // where the agent answers its node; empty for off
+	Name          string        `json:"name"`      // of the member; others must not have it
+	Bind          string        `json:"bind"`      // IP:PORT for gossip, TCP and UDP
+	Advertise     string        `json:"advertise"` // where the others reach it, if elsewhere
+	Peers         []string      `json:"peers"`     // some other members
+	Key           string        `json:"key"`       // file with the key that all members have
+	Interval      Duration      `json:"interval"`  // of gossip
+	Epoch         Duration      `json:"epoch"`     // a cold next hop's window, as the settings' tipAfter
+	Hold          Duration      `json:"hold"`      // who is silent keeps his part for so long
+	Fresh         Duration      `json:"fresh"`     // accusations and retry counts count for so long
+	Retries       float64       `json:"retries"`   // allowed for each first try
+	Shun          float64       `json:"shun"`      // share of next hops that verdicts cover at most
+	Zone          string        `json:"zone"`      // where this member stands; empty for nowhere
+	ReplicatedLog ReplicatedLog `json:"record"`
+	Zones         Zones         `json:"zones"`
+	Accounts      Accounts      `json:"accounts"`
+	SLO           SLO           `json:"promises"`
 }
 
 func defaultFleet() Fleet {
 	return Fleet{Peers: []string{}, Interval: Duration{100 * time.Millisecond}, Epoch: Duration{1500 * time.Millisecond},
 		Hold: Duration{30 * time.Second}, Fresh: Duration{3 * time.Second}, Retries: 0.2, Shun: 0.25,
-		Record: Record{Voters: []Voter{}, Lease: Duration{2 * time.Second}}, Zones: defaultZones(), Promises: defaultPromises()}
+		ReplicatedLog: ReplicatedLog{Voters: []Voter{}, Lease: Duration{2 * time.Second}}, Zones: defaultZones(), SLO: defaultPromises()}
 }
 
 func isIP(s string) bool {
@@ -54,8 +54,8 @@
 	c.number("fleet.retries", l.Retries, 0, 10)
 	c.number("fleet.shun", l.Shun, 0, 1)
 	c.fault(l.Zone != "" && !isName(l.Zone, longestZone), "fleet.zone", l.Zone, "1 to 24 bytes without blanks")
-	l.Record.check(c, l)
+	l.ReplicatedLog.check(c, l)
 	l.Zones.check(c, l)
 	l.Accounts.check(c, l)
-	l.Promises.check(c, l)
+	l.SLO.check(c, l)
 }
--- a/internal/operatorconfig/load.go
+++ b/internal/operatorconfig/load.go
@@ -58,7 +58,7 @@
 	if err := d.Decode(&f); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return File{}, Fault{wrong.Field, wrong.Value, wrong.Type.String()}
+			return File{}, KeyError{wrong.Field, wrong.Value, wrong.Type.String()}
 		}
 		return File{}, err
 	}
@@ -97,12 +97,12 @@
 }
 
 // Fixed names the keys that differ between f and next and need a restart.
-func (f *File) Fixed(next *File) (keys []string) {
+func (f *File) ChangedRestartKeys(next *File) (keys []string) {
 	for key, same := range map[string]bool{
 		"log.format": f.Log.Format == next.Log.Format, "resume.enabled": f.Resume.Enabled == next.Resume.Enabled,
 		"udp":           f.UDP == next.UDP,
 		"fleet":         reflect.DeepEqual(f.Fleet, next.Fleet),
-		"resume.ledger": reflect.DeepEqual(f.Resume.Ledger, next.Resume.Ledger),
+		"resume.ledger": reflect.DeepEqual(f.Resume.ReplayGuard, next.Resume.ReplayGuard),
 	} {
 		if !same {
 			keys = append(keys, key)
--- a/internal/operatorconfig/operator.go
+++ b/internal/operatorconfig/operator.go
@@ -40,16 +40,16 @@
 
 // Resume is moving with a resume token.
 type Resume struct {
-	Enabled bool     `json:"enabled"`
-	Keys    string   `json:"keys"` // folder of key files, read again on SIGHUP
-	Life    Duration `json:"life"` // of a token
-	Skew    Duration `json:"skew"` // by which nodes' clocks may differ
-	Wait    Duration `json:"wait"` // for an arbiter's answer
-	Ledger  Ledger   `json:"ledger"`
+	Enabled        bool        `json:"enabled"`
+	Keys           string      `json:"keys"` // folder of key files, read again on SIGHUP
+	TokenTTL       Duration    `json:"life"` // of a token
+	ClockSkew      Duration    `json:"skew"` // by which nodes' clocks may differ
+	ArbiterTimeout Duration    `json:"wait"` // for an arbiter's answer
+	ReplayGuard    ReplayGuard `json:"ledger"`
 }
 
 // Ledger is this node's record of spent tokens.
-type Ledger struct {
+type ReplayGuard struct {
 	Dir     string            `json:"dir"`     // folder; empty keeps it in memory
 	Records int               `json:"records"` // spent tokens remembered at most
 	Listen  string            `json:"listen"`  // where other nodes ask; empty for none
@@ -58,15 +58,15 @@
 
 // Default is what a node without a file runs with: everything off.
 func Default() File {
-	return File{Log: Log{Level: "info", Format: "text"}, Resume: Resume{Life: Duration{time.Minute},
-		Skew: Duration{5 * time.Second}, Wait: Duration{150 * time.Millisecond}, Ledger: Ledger{Records: 1_000_000}},
+	return File{Log: Log{Level: "info", Format: "text"}, Resume: Resume{TokenTTL: Duration{time.Minute},
+		ClockSkew: Duration{5 * time.Second}, ArbiterTimeout: Duration{150 * time.Millisecond}, ReplayGuard: ReplayGuard{Records: 1_000_000}},
 		UDP: defaultUDP(), Fleet: defaultFleet()}
 }
 
 // Fault is what is wrong with one key.
-type Fault struct{ Key, Found, Allowed string }
+type KeyError struct{ Key, Found, Allowed string }
 
-func (f Fault) Error() string {
+func (f KeyError) Error() string {
 	return fmt.Sprintf("%s: found %s, allowed is %s", f.Key, f.Found, f.Allowed)
 }
 
@@ -75,7 +75,7 @@
 
 func (c *checks) fault(bad bool, key string, found any, allowed string) {
 	if bad {
-		c.faults = append(c.faults, Fault{key, fmt.Sprintf("%q", fmt.Sprint(found)), allowed})
+		c.faults = append(c.faults, KeyError{key, fmt.Sprintf("%q", fmt.Sprint(found)), allowed})
 	}
 }
 
@@ -104,12 +104,12 @@
 
 func (r *Resume) check(c *checks) {
 	c.fault(r.Enabled && r.Keys == "", "resume.keys", r.Keys, "a folder of key files, as resume.enabled is true")
-	c.within("resume.life", r.Life, time.Second, 24*time.Hour)
-	c.within("resume.skew", r.Skew, 0, time.Minute)
-	c.within("resume.wait", r.Wait, time.Millisecond, 5*time.Second)
-	c.fault(r.Ledger.Records < 1 || r.Ledger.Records > 100_000_000, "resume.ledger.records", r.Ledger.Records, "1 to 100000000")
-	c.fault(r.Ledger.Listen != "" && !isAddress(r.Ledger.Listen), "resume.ledger.listen", r.Ledger.Listen, "HOST:PORT")
-	for name, addr := range r.Ledger.Peers {
+	c.within("resume.life", r.TokenTTL, time.Second, 24*time.Hour)
+	c.within("resume.skew", r.ClockSkew, 0, time.Minute)
+	c.within("resume.wait", r.ArbiterTimeout, time.Millisecond, 5*time.Second)
+	c.fault(r.ReplayGuard.Records < 1 || r.ReplayGuard.Records > 100_000_000, "resume.ledger.records", r.ReplayGuard.Records, "1 to 100000000")
+	c.fault(r.ReplayGuard.Listen != "" && !isAddress(r.ReplayGuard.Listen), "resume.ledger.listen", r.ReplayGuard.Listen, "HOST:PORT")
+	for name, addr := range r.ReplayGuard.Peers {
 		c.fault(!isAddress(addr), "resume.ledger.peers."+name, addr, "HOST:PORT")
 		c.fault(!isName(name, 40), "resume.ledger.peers."+name, name, "a node's name of 1 to 40 bytes without blanks")
 	}
--- a/internal/operatorconfig/operator_test.go
+++ b/internal/operatorconfig/operator_test.go
@@ -10,7 +10,7 @@
 
 func TestParse(t *testing.T) {
 	f, err := Parse([]byte(`{"resume":{"life":"90s"}}`))
-	if err != nil || f.Resume.Life.Seconds() != 90 || f.Resume.Enabled || f.Log.Level != "info" {
+	if err != nil || f.Resume.TokenTTL.Seconds() != 90 || f.Resume.Enabled || f.Log.Level != "info" {
 		t.Errorf("%+v, %v", f, err)
 	}
 	for text, key := range map[string]string{
@@ -44,12 +44,12 @@
 
 func TestFixed(t *testing.T) {
 	a, b := Default(), Default()
-	b.Log.Level, b.Resume.Life.Duration = "debug", 1
-	if keys := a.Fixed(&b); keys != nil {
+	b.Log.Level, b.Resume.TokenTTL.Duration = "debug", 1
+	if keys := a.ChangedRestartKeys(&b); keys != nil {
 		t.Errorf("these can change: %q", keys)
 	}
-	b.Log.Format, b.Resume.Ledger.Dir = "json", "x"
-	if keys := a.Fixed(&b); !slices.Equal(keys, []string{"log.format", "resume.ledger"}) {
+	b.Log.Format, b.Resume.ReplayGuard.Dir = "json", "x"
+	if keys := a.ChangedRestartKeys(&b); !slices.Equal(keys, []string{"log.format", "resume.ledger"}) {
 		t.Errorf("%q", keys)
 	}
 }
--- a/internal/operatorconfig/promises.go
+++ b/internal/operatorconfig/promises.go
@@ -7,7 +7,7 @@
 )
 
 // Promises is how the fleet keeps contracts on response times. All members have it alike.
-type Promises struct {
+type SLO struct {
 	Enabled  bool     `json:"enabled"`
 	Part     Duration `json:"part"`     // of time: what is measured in it is told and judged as one
 	Parts    int      `json:"parts"`    // that are evidence, the last ones
@@ -25,15 +25,15 @@
 	Pace     int      `json:"pace"`     // for rehearsals: all these times, and contracts' windows, pass so many times faster
 }
 
-func defaultPromises() Promises {
+func defaultPromises() SLO {
 	d := slo.Default()
 	in := func(t time.Duration) Duration { return Duration{t} }
-	return Promises{Part: in(d.Part), Parts: d.Parts, Late: in(d.Late), Cells: d.Cells, Z: d.Z, Need: d.Need, Period: in(d.Period),
+	return SLO{Part: in(d.Part), Parts: d.Parts, Late: in(d.Late), Cells: d.Cells, Z: d.Z, Need: d.Need, Period: in(d.Period),
 		Step: d.Step, Inflow: d.Inflow, Fill: d.Fill, Patience: in(d.Patience), Margin: d.Margin, Explore: d.Explore, Pace: 1}
 }
 
 // Config is what package promise takes.
-func (p *Promises) Config() slo.Config {
+func (p *SLO) Config() slo.Config {
 	return slo.Config{Part: p.Part.Duration, Parts: p.Parts, Late: p.Late.Duration, Cells: p.Cells, Z: p.Z, Need: p.Need,
 		Period: p.Period.Duration, Step: p.Step, Inflow: p.Inflow, Fill: p.Fill, Patience: p.Patience.Duration, Margin: p.Margin, Explore: p.Explore}
 }
@@ -42,7 +42,7 @@
 const paced = time.Duration(1_767_225_600) * time.Second // 2026-01-01
 
 // Time is what promises take a Unix time for.
-func (p *Promises) Time(unix time.Duration) time.Duration {
+func (p *SLO) Time(unix time.Duration) time.Duration {
 	if p.Pace <= 1 {
 		return unix
 	}
@@ -50,9 +50,9 @@
 }
 
 // check leaves most of the figures' bounds to package promise.
-func (p *Promises) check(c *checks, l *Fleet) {
+func (p *SLO) check(c *checks, l *Fleet) {
 	const key = "fleet.promises."
-	c.fault(p.Enabled && !l.Record.On(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
+	c.fault(p.Enabled && !l.ReplicatedLog.IsEnabled(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
 	c.fault(p.Pace < 1 || p.Pace > 60, key+"pace", p.Pace, "1 to 60")
 	if bad := p.Config().Check(); bad != "" {
 		c.fault(true, key+bad, "a figure that can't be worked with", "what 'coralctl explain fleet.promises."+bad+"' tells")
--- a/internal/operatorconfig/record.go
+++ b/internal/operatorconfig/record.go
@@ -10,7 +10,7 @@
 const longestZone = 24
 
 // Record is the log that all members hold alike. It is on where it has voters.
-type Record struct {
+type ReplicatedLog struct {
 	Dir       string   `json:"dir"`       // folder; of this member alone
 	Bind      string   `json:"bind"`      // IP:PORT, TCP
 	Advertise string   `json:"advertise"` // where the others reach it, if elsewhere
@@ -27,10 +27,10 @@
 }
 
 // On tells whether this member keeps the record.
-func (r *Record) On() bool { return len(r.Voters) > 0 }
+func (r *ReplicatedLog) IsEnabled() bool { return len(r.Voters) > 0 }
 
 // Reached is where the others reach this member's record.
-func (r *Record) Reached() string {
+func (r *ReplicatedLog) AdvertisedAddr() string {
 	if r.Advertise != "" {
 		return r.Advertise
 	}
@@ -38,7 +38,7 @@
 }
 
 // RootKey is the root key's bytes, none for nobody's.
-func (r *Record) RootKey() ([]byte, error) {
+func (r *ReplicatedLog) RootKey() ([]byte, error) {
 	key, err := base64.StdEncoding.DecodeString(r.Root)
 	if err != nil || len(key) != 0 && len(key) != 32 {
 		return nil, fmt.Errorf("%d characters", len(r.Root))
@@ -46,14 +46,14 @@
 	return key, nil
 }
 
-func (r *Record) check(c *checks, l *Fleet) {
+func (r *ReplicatedLog) check(c *checks, l *Fleet) {
 	const key = "fleet.record."
 	c.within(key+"lease", r.Lease, 500*time.Millisecond, time.Minute)
 	_, err := r.RootKey()
 	c.fault(err != nil, key+"root", r.Root, "what 'coralctl account key' prints for public, or nothing")
 	c.fault(r.Bind != "" && !isIP(r.Bind), key+"bind", r.Bind, "IP:PORT")
 	c.fault(r.Advertise != "" && !isIP(r.Advertise), key+"advertise", r.Advertise, "IP:PORT")
-	if !r.On() {
+	if !r.IsEnabled() {
 		c.fault(r.Dir != "" || r.Bind != "" || r.Advertise != "", key+"voters", "none", "3 or 5, as fleet.record names a folder or an address")
 		return
 	}
@@ -65,10 +65,10 @@
 }
 
 // checkVoters holds the voters against one another and against this member.
-func (r *Record) checkVoters(c *checks, l *Fleet) {
+func (r *ReplicatedLog) checkVoters(c *checks, l *Fleet) {
 	const key = "fleet.record.voters"
 	c.fault(len(r.Voters) != 3 && len(r.Voters) != 5, key, len(r.Voters), "3 or 5 voters")
-	own := r.Reached()
+	own := r.AdvertisedAddr()
 	names, addrs, zones := map[string]bool{}, map[string]bool{}, map[string]int{}
 	for _, v := range r.Voters {
 		c.fault(!isName(v.Name, 64), key, v.Name, "names of 1 to 64 bytes without blanks")
--- a/internal/operatorconfig/schema/schema_test.go
+++ b/internal/operatorconfig/schema/schema_test.go
@@ -26,8 +26,8 @@
 		}
 		a, _ := json.Marshal(got)
 		want := operatorconfig.Default()
-		want.Resume.Ledger.Peers = got.Resume.Ledger.Peers // none and nil are one
-		if b, _ := json.Marshal(want); string(a) != string(b) || len(got.Resume.Ledger.Peers) > 0 {
+		want.Resume.ReplayGuard.Peers = got.Resume.ReplayGuard.Peers // none and nil are one
+		if b, _ := json.Marshal(want); string(a) != string(b) || len(got.Resume.ReplayGuard.Peers) > 0 {
 			t.Errorf("%s: %s\nwant %s", name, a, b)
 		}
 	}
--- a/internal/operatorconfig/zones.go
+++ b/internal/operatorconfig/zones.go
@@ -54,7 +54,7 @@
 
 // check leaves the figures' bounds to package zone.
 func (z *Zones) check(c *checks, l *Fleet) {
-	c.fault(z.Enabled && !l.Record.On(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
+	c.fault(z.Enabled && !l.ReplicatedLog.IsEnabled(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
 	if err := z.Config().Check(); err != nil {
 		c.faults = append(c.faults, err)
 	}
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -79,7 +79,7 @@
 	w := &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
 	b := &bench{watcher: w, caller: caller, hop: hop, hopLeg: bufconn.New(hopNear), fromNode: bufio.NewReader(caller),
 		fromCaller: bufio.NewReader(hop), finished: make(chan struct{})}
-	b.t = proxy.New(proxy.Request{ID: "a"}, opening{}, lineproto.Front{}, w, bufconn.New(near))
+	b.t = proxy.New(proxy.Request{ID: "a"}, opening{}, lineproto.Codec{}, w, bufconn.New(near))
 	return b
 }
 
--- a/internal/proxy/heir_test.go
+++ b/internal/proxy/heir_test.go
@@ -42,7 +42,7 @@
 	s.FromCaller, s.FromHop = append([]byte{}, s.FromCaller...), append([]byte{}, s.FromHop...)
 	s.Hold = proxy.NewHold()
 	h.s = s
-	x := proxy.Inherit(s, lineproto.Front{}, h.watcher, copied(caller), copied(hop))
+	x := proxy.Inherit(s, lineproto.Codec{}, h.watcher, copied(caller), copied(hop))
 	go func() { defer close(h.finished); x.Run() }()
 	close(h.asked)
 	takes := <-h.takes
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -31,9 +31,9 @@
 	case a.hop == nil:
 		if t.caller.WriteText(a.line, time.Now().Add(stall)) == nil {
 			if a.busy {
-				t.Figures.Throttled()
+				t.Figures.Rejected()
 			} else {
-				t.Figures.Faulted()
+				t.Figures.Failed()
 			}
 		}
 		t.caller.FinishWrites()
--- a/internal/refmodel/list_clock_test.go
+++ b/internal/refmodel/list_clock_test.go
@@ -183,7 +183,7 @@
 	inBubble(t, func() *fakeDiscovery { return newDiscovery(func(int) manner { return lists }) }, func(ctx context.Context, d *fakeDiscovery) {
 		d.takes = func() time.Duration { return 0 }
 		born := time.Now()
-		f := d.follow(ctx, t, "n", 1, settings.Watched(set))
+		f := d.follow(ctx, t, "n", 1, settings.ForWatch(set))
 		time.Sleep(20 * time.Second)
 		if calls := d.since("n", born.Add(-1)); len(calls) != 1 || calls[0] != 1 || f.whole(born.Add(-1)) != born {
 			t.Errorf("calls at %v, the list came at %v, want both at the first moment", calls, f.whole(born))
@@ -195,7 +195,7 @@
 				t.Errorf("the list came %v after the watch fell silent", took)
 			}
 		}
-		f.core.Retune(settings.Watched(set)) // as SIGHUP does
+		f.core.Retune(settings.ForWatch(set)) // as SIGHUP does
 		last := d.hush()
 		time.Sleep(20 * time.Second)
 		if f.whole(last).IsZero() {
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -49,7 +49,7 @@
 	defer s.operators.Unlock()
 	now := time.Now()
 	s.node.server.LameDuck(downstream.Plan{Refuse: now.Add(600 * ms), From: now.Add(300 * ms), Until: now.Add(1500 * ms), End: now.Add(time.Hour)})
-	if s.node.server.TakesClients() {
+	if s.node.server.AcceptsClients() {
 		s.t.Error("it takes clients while it is emptied")
 	}
 	if s.chance(0.5) {
@@ -68,7 +68,7 @@
 		s.mu.Unlock()
 		s.node.server.Rejoin()
 	}
-	if !s.node.server.TakesClients() {
+	if !s.node.server.AcceptsClients() {
 		s.t.Error("it takes no clients after the drain")
 	}
 }
--- a/internal/refmodel/scene_test.go
+++ b/internal/refmodel/scene_test.go
@@ -50,10 +50,10 @@
 	ids   int
 	over  map[string]int // how requests were answered
 
-	byClass map[string]int // the same, of each class
-	board   board          // discovery, where it is asked
-	sent    int            // attempts that feed servers have read whole
-	count   *metrics.Book  // the node's own
+	byClass map[string]int    // the same, of each class
+	board   board             // discovery, where it is asked
+	sent    int               // attempts that feed servers have read whole
+	count   *metrics.Registry // the node's own
 
 	kind kind
 	room float64
@@ -121,11 +121,11 @@
 		book: refmodel.NewBook(refmodel.Terms{Attempts: 4, Drain: 300 * ms, Told: 6 * time.Second, Prompt: prompt, Tick: set.Tick, Ramp: 20 * time.Second,
 			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
 	s.board = board{s: s, watches: map[net.Conn]chan string{}}
-	s.count = &metrics.Book{}
+	s.count = &metrics.Registry{}
 	for _, c := range classes {
 		c.Aim, c.Deadline = 300*ms, time.Second
 		s.set.Classes = append(s.set.Classes, c)
-		s.count.Name(c.Name)
+		s.count.AddClasses(c.Name)
 	}
 	var list []discovery.Entry
 	for i := range feeds {
--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -26,15 +26,15 @@
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Sessions) Continuity(o *lineproto.Open) proxy.Continuity {
+func (s Sessions) Continuity(o *lineproto.ConnectRequest) proxy.Continuity {
 	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
-	if o.Resume != lineproto.Asked {
-		c.token = o.Resume
+	if o.ResumeToken != lineproto.ResumeWanted {
+		c.token = o.ResumeToken
 	}
-	if pos, err := resumetoken.ParsePosition(o.After); err == nil {
+	if pos, err := resumetoken.ParsePosition(o.ResumePosition); err == nil {
 		c.floor = resumetoken.Outcome{Floor: true, Pos: pos}
 	}
-	o.Conceal()
+	o.StripResumption()
 	return c
 }
 
@@ -44,7 +44,7 @@
 	key, group  string
 	token       string              // that it presented; empty if none
 	floor       resumetoken.Outcome // what it says it has: it can only ask for no older
-	reading     lineproto.Reading
+	reading     lineproto.StreamPosition
 	came        time.Time
 	ticket      string
 	wasTicketed bool
@@ -53,7 +53,7 @@
 // Begin redeems the token now that a next hop has taken the caller: one that gets
 // a busy answer keeps it unspent.
 func (c *session) Begin(ctx context.Context, up string) string {
-	if !lineproto.Resumable(up) {
+	if !lineproto.IsResumable(up) {
 		return ""
 	}
 	o := c.floor
@@ -66,10 +66,10 @@
 			o = got
 		}
 	}
-	return lineproto.Start(o, c.came)
+	return lineproto.FormatStreamStart(o, c.came)
 }
 
-func (c *session) Passed(text []byte) { c.reading.Pass(text) }
+func (c *session) Passed(text []byte) { c.reading.Observe(text) }
 
 // Ticket is minted once: a caller that is told twice to move has one token.
 func (c *session) Ticket() string {
--- a/internal/scenario/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -86,8 +86,8 @@
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
 	w.Own = func(_ string, f *operatorconfig.File) {
-		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(t.root.public())
-		f.Fleet.Record.Lease = operatorconfig.Duration{Duration: lease}
+		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(t.root.public())
+		f.Fleet.ReplicatedLog.Lease = operatorconfig.Duration{Duration: lease}
 	}
 	w.Clock = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
--- a/internal/scenario/promises.go
+++ b/internal/scenario/promises.go
@@ -126,8 +126,8 @@
 		z.Enabled, z.Zones = true, w.Zones
 		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(promisesRamp)
 		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
-		f.Fleet.Record.Root = base64.StdEncoding.EncodeToString(public)
-		p := &f.Fleet.Promises
+		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
+		p := &f.Fleet.SLO
 		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, pace, stepAtMost, 0.15, in(45*time.Second)
 	}
 	built, err := testbed.New(ctx, w)
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -146,8 +146,8 @@
 		own := operatorconfig.Default()
 		own.Log.Level = "warn"
 		own.Resume.Enabled, own.Resume.Keys = true, s.keys
-		own.Resume.Ledger.Dir = filepath.Join(dir, name, "ledger")
-		own.Resume.Ledger.Listen, own.Resume.Ledger.Peers = peers[name], peers
+		own.Resume.ReplayGuard.Dir = filepath.Join(dir, name, "ledger")
+		own.Resume.ReplayGuard.Listen, own.Resume.ReplayGuard.Peers = peers[name], peers
 		discovery, err := s.roster.Listen(name)
 		if err != nil {
 			return err
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -51,11 +51,11 @@
 		return own, err
 	}
 	own.Fleet.Zone = zone
-	own.Fleet.Record.Dir, own.Fleet.Record.Bind, own.Fleet.Record.Advertise = filepath.Join(w.Dir, name, "record"), bind, at
+	own.Fleet.ReplicatedLog.Dir, own.Fleet.ReplicatedLog.Bind, own.Fleet.ReplicatedLog.Advertise = filepath.Join(w.Dir, name, "record"), bind, at
 	if number < w.Voters {
-		w.Fleet.Record.Voters = append(w.Fleet.Record.Voters, operatorconfig.Voter{Name: name, Addr: at, Zone: zone})
+		w.Fleet.ReplicatedLog.Voters = append(w.Fleet.ReplicatedLog.Voters, operatorconfig.Voter{Name: name, Addr: at, Zone: zone})
 	}
-	return own, os.MkdirAll(own.Fleet.Record.Dir, 0o700)
+	return own, os.MkdirAll(own.Fleet.ReplicatedLog.Dir, 0o700)
 }
 
 // Party opens a way through the relay for who speaks from a loopback address of its own: the
--- a/internal/scenario/testbed/world.go
+++ b/internal/scenario/testbed/world.go
@@ -171,7 +171,7 @@
 	for i, name := range w.Names {
 		f := &own[i]
 		if !w.Alone {
-			f.Fleet.Peers, f.Fleet.Record.Voters = w.peers, w.Fleet.Record.Voters
+			f.Fleet.Peers, f.Fleet.ReplicatedLog.Voters = w.peers, w.Fleet.ReplicatedLog.Voters
 			if w.Own != nil {
 				w.Own(name, f)
 			}
--- a/internal/scenario/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -110,7 +110,7 @@
 		z.Steady, z.Hold, z.HoldMost, z.Quiet = of(steady), of(hold), of(2*hold), of(2*hold)
 		z.Gap, z.Ramp, z.Skew = of(2*time.Second), of(ramp), of(skew)
 		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
-		f.Fleet.Record.Lease = of(lease)
+		f.Fleet.ReplicatedLog.Lease = of(lease)
 	}
 	w.Clock = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -147,7 +147,7 @@
 // Watched returns settings as the real node goes by them: it hears of no list that it has
 // not asked for. A pushed one is asked for from the first moment on; where the settings name
 // no time within which, what a silent watch has missed counts as told after toldAfter.
-func Watched(s balance.Settings) balance.Settings {
+func ForWatch(s balance.Settings) balance.Settings {
 	s.AskWithin = cmp.Or(s.AskWithin, toldAfter)
 	if !s.ListAsked {
 		s.ListAsked, s.AskNow = true, true
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,7 +83,7 @@
 			if within == 0 {
 				want = toldAfter
 			}
-			if got := Watched(s); !got.ListAsked || got.AskNow != now || got.AskWithin != want {
+			if got := ForWatch(s); !got.ListAsked || got.AskNow != now || got.AskWithin != want {
 				t.Error(fmt.Sprint(mode, " ", within), got.ListAsked, got.AskNow, got.AskWithin)
 			}
 		}
--- a/internal/simproto/wire.go
+++ b/internal/simproto/wire.go
@@ -263,8 +263,8 @@
 }
 
 // AppendFault appends the line that says an instance's decisions have failed.
-func AppendFault(buf []byte, instance int, words string) []byte {
-	buf = text(append(head(buf, "Broken", instance), `,"words":`...), words)
+func AppendError(buf []byte, instance int, reason string) []byte {
+	buf = text(append(head(buf, "Broken", instance), `,"words":`...), reason)
 	return append(buf, "}\n"...)
 }
 
--- a/internal/simproto/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -224,7 +224,7 @@
 			t.Errorf("%T: got %swant %s", tt.action, got, tt.want)
 		}
 	}
-	if got := string(AppendFault(nil, 3, "no\nidea")); got != `{"cmd":"Broken","who":3,"words":"no\nidea"}`+"\n" {
+	if got := string(AppendError(nil, 3, "no\nidea")); got != `{"cmd":"Broken","who":3,"words":"no\nidea"}`+"\n" {
 		t.Errorf("fault: %s", got)
 	}
 	if got := string(AppendDone(nil, 12)); got != `{"cmd":"Ok","round":12}`+"\n" {
--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -18,10 +18,10 @@
 // Fronts are several at one address, where there are cores for them: the kernel deals
 // flows among their sockets, always a flow to the same. They share nothing but the Core,
 // so no lock is between two cores; each has its part of all bounds.
-type Fronts []*Front
+type Listeners []*Listener
 
 // Open listens with n fronts, which together keep to the options.
-func Open(o Options, n int, core Decider, hops Hops) (Fronts, error) {
+func Open(o Options, n int, core Dispatcher, hops Endpoints) (Listeners, error) {
 	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
 		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
 	}
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("udp: %w", err)
 	}
-	var all Fronts
+	var all Listeners
 	for i, conn := range conns {
 		f := newFront(o.part(n), conn, core, hops)
 		if n > 1 {
@@ -45,9 +45,9 @@
 func (o Options) part(n int) Options {
 	share := func(x int) int { return max(1, (x+n-1)/n) }
 	o.Table.Entries, o.Sockets = share(o.Table.Entries), max(1, o.Sockets/n)
-	o.Room.Count, o.Room.Bytes = share(o.Room.Count), share(o.Room.Bytes)
+	o.QueueBudget.Count, o.QueueBudget.Bytes = share(o.QueueBudget.Count), share(o.QueueBudget.Bytes)
 	o.Sources.Rate, o.Sources.Burst = o.Sources.Rate/float64(n), max(1, o.Sources.Burst/float64(n))
-	for _, p := range []*flowtable.Pace{&o.New, &o.Again} {
+	for _, p := range []*flowtable.Pacer{&o.NewFlows, &o.ReplacedFlows} {
 		p.Rate, p.Burst = p.Rate/float64(n), max(1, p.Burst/float64(n))
 	}
 	return o
@@ -92,17 +92,17 @@
 }
 
 // Addr is where they listen.
-func (all Fronts) Addr() netip.AddrPort { return all[0].addr }
+func (all Listeners) Addr() netip.AddrPort { return all[0].addr }
 
 // Look is Front.Look for each.
-func (all Fronts) Look() {
+func (all Listeners) Look() {
 	for _, f := range all {
 		f.Look()
 	}
 }
 
 // Serve serves all until ctx ends, and then logs what became of their datagrams.
-func (all Fronts) Serve(ctx context.Context) {
+func (all Listeners) Serve(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, f := range all {
 		wg.Go(func() { f.Serve(ctx) })
@@ -111,7 +111,7 @@
 	var sum Counts
 	waiting := 0
 	for _, f := range all {
-		waiting += f.o.Room.Count - f.room.Count
+		waiting += f.o.QueueBudget.Count - f.room.Count
 		into := sum.all()
 		for i, c := range f.Counts.all() {
 			into[i].n.Add(c.n.Load())
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -20,7 +20,7 @@
 type health struct {
 	server   string
 	flows    int // that stand there
-	evidence flowtable.Evidence
+	evidence flowtable.LivenessEvidence
 
 	echo     *net.UDPConn // nil where probes tell
 	asked    bool         // an echo is out
@@ -30,7 +30,7 @@
 
 // healthOf returns a next hop's, which is kept for as long as the list names it: what it
 // used to do counts when it has flows again.
-func (f *Front) healthOf(server string, addr netip.AddrPort) *health {
+func (f *Listener) healthOf(server string, addr netip.AddrPort) *health {
 	h := f.health[server]
 	if h == nil {
 		h = &health{server: server}
@@ -56,7 +56,7 @@
 }
 
 // echoes notes what answers an echo, whatever it says.
-func (f *Front) echoes(h *health, conn *net.UDPConn) {
+func (f *Listener) echoes(h *health, conn *net.UDPConn) {
 	b := make([]byte, usual)
 	for {
 		_, err := conn.Read(b)
@@ -75,7 +75,7 @@
 
 // leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
 // elsewhere with their next datagrams, at the pace.
-func (f *Front) leaveSilent(now time.Time) {
+func (f *Listener) leaveSilent(now time.Time) {
 	if f.o.Silence.After <= 0 || now.Before(f.soughtAt) {
 		return
 	}
@@ -88,29 +88,29 @@
 			continue
 		}
 		f.inquire(h, now)
-		if !h.evidence.Silent(at, f.o.Silence) || mutation.Enabled("silence") {
+		if !h.evidence.IsSilent(at, f.o.Silence) || mutation.Enabled("silence") {
 			continue
 		}
 		n := f.lose(h)
-		h.evidence.Left()
+		h.evidence.FlowRemoved()
 		f.Counts.Silent.Add(int64(n))
 		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.server, "flows", n)
 	}
 }
 
 // inquire takes the latest word on a next hop, and asks for another.
-func (f *Front) inquire(h *health, now time.Time) {
+func (f *Listener) inquire(h *health, now time.Time) {
 	at := now.Sub(f.start)
 	switch {
 	case h.echo == nil:
-		h.evidence.Asked(at, f.hops.Answers(h.server))
+		h.evidence.ProbeAnswered(at, f.hops.Answers(h.server))
 	case now.Before(h.askAt):
 		if h.answered {
-			h.evidence.Asked(at, true)
+			h.evidence.ProbeAnswered(at, true)
 		}
 	default:
 		if h.asked {
-			h.evidence.Asked(at, h.answered)
+			h.evidence.ProbeAnswered(at, h.answered)
 		}
 		h.asked, h.answered, h.askAt = true, false, now.Add(asks)
 		_, _ = h.echo.Write([]byte(f.o.Echo)) // a refusal shows at the flows' sockets
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -40,7 +40,7 @@
 var errSockets = errors.New("udp.sockets are used up")
 
 // outlet returns a socket for one more flow to a next hop.
-func (f *Front) outlet(server string) (out *outlet, made bool, err error) {
+func (f *Listener) outlet(server string) (out *outlet, made bool, err error) {
 	if out := f.outlets[server]; out != nil { // only shared ones are there
 		out.flows++
 		out.hop.flows++
@@ -60,7 +60,7 @@
 	f.sockets++
 	out = &outlet{server: server, conn: conn, flows: 1, hop: f.healthOf(server, addr)}
 	out.hop.flows++
-	if f.o.Shared {
+	if f.o.SharedSockets {
 		_ = conn.SetWriteBuffer(4 << 20) // as much of it as the machine allows
 		_ = conn.SetReadBuffer(4 << 20)
 		out.packets = ipv4.NewPacketConn(conn)
@@ -70,7 +70,7 @@
 }
 
 // letGo ends one flow's use of a socket.
-func (f *Front) letGo(out *outlet) {
+func (f *Listener) letGo(out *outlet) {
 	out.hop.flows--
 	if out.flows--; out.flows > 0 {
 		return
@@ -85,9 +85,9 @@
 
 // maySend looks whether a flow's next hop may still be sent to: for one socket once in
 // each batch, which is read and written within the same moment.
-func (f *Front) maySend(x *item, now time.Time) bool {
+func (f *Listener) maySend(x *item, now time.Time) bool {
 	out := x.out
-	if !f.o.Shared {
+	if !f.o.SharedSockets {
 		return f.hops.MaySend(x.server, now)
 	}
 	if out.looked != now {
@@ -99,10 +99,10 @@
 // send writes one datagram to a flow's next hop, under the lock: a drain that is
 // told meanwhile is seen by the next look at MaySend, before the next write. Over a
 // shared socket it goes with the batch, which is flushed under the same lock.
-func (f *Front) send(p *place, x *item, d []byte) {
+func (f *Listener) send(p *place, x *item, d []byte) {
 	x.out.hop.evidence.Sent(f.clock)
-	if !f.o.Shared {
-		if f.o.Proxy {
+	if !f.o.SharedSockets {
+		if f.o.ProxyHeader {
 			d = append(appendProxy(make([]byte, 0, longestProxy+len(d)), p.client, f.addr, flowtable.Ref{}), d...)
 		}
 		if _, err := x.out.conn.Write(d); err != nil {
@@ -124,7 +124,7 @@
 	}
 	m := &out.queue[n]
 	m.Buffers = m.Buffers[:0]
-	if f.o.Proxy {
+	if f.o.ProxyHeader {
 		if n == len(out.heads) {
 			out.heads = append(out.heads, [longestProxy]byte{})
 		}
@@ -141,7 +141,7 @@
 }
 
 // flush writes what the sockets have.
-func (f *Front) flush() {
+func (f *Listener) flush() {
 	due := f.due
 	f.due = f.due[:0]
 	for _, out := range due {
@@ -151,7 +151,7 @@
 }
 
 // write writes what one socket has. A refusal is its next hop's: all flows there let it go.
-func (f *Front) write(out *outlet) {
+func (f *Listener) write(out *outlet) {
 	list := out.queue
 	if len(list) == 0 {
 		return
@@ -187,12 +187,12 @@
 }
 
 // refused lets all flows of a next hop go whose port nobody has.
-func (f *Front) refused(out *outlet) {
+func (f *Listener) refused(out *outlet) {
 	f.lose(out.hop)
 }
 
 // lose lets all flows of a next hop go, and returns how many there were.
-func (f *Front) lose(h *health) (n int) {
+func (f *Listener) lose(h *health) (n int) {
 	for i := range f.flows {
 		if x := f.flows[i].item; x != nil && x.out != nil && x.out.hop == h {
 			f.replace(x, balance.Reset)
@@ -204,7 +204,7 @@
 
 // sharedReplies passes on what a next hop answers over a shared socket, each to the client
 // that its header names, if that one's flow stands there.
-func (f *Front) sharedReplies(out *outlet) {
+func (f *Listener) sharedReplies(out *outlet) {
 	messages := make([]ipv4.Message, batch)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, usual)}
@@ -255,9 +255,9 @@
 // whose tells the client that a reply is for. The flow whose mark it repeats must still
 // have its place, and stand at the next hop that answers: another client may have that place,
 // or the same address, by now.
-func (f *Front) whose(out *outlet, d []byte, at time.Duration) (client netip.AddrPort, text []byte, ok bool) {
-	if !f.o.Proxy {
-		out.hop.evidence.Heard()
+func (f *Listener) whose(out *outlet, d []byte, at time.Duration) (client netip.AddrPort, text []byte, ok bool) {
+	if !f.o.ProxyHeader {
+		out.hop.evidence.Received()
 		return client, nil, false
 	}
 	client, _, r, text, err := cutProxy(d)
@@ -266,13 +266,13 @@
 		return client, nil, false
 	case mutation.Enabled("stale"):
 		return client, text, true
-	case !f.table.Valid(r):
+	case !f.table.IsValid(r):
 		return client, nil, false
 	}
 	if p := &f.flows[r.Index]; p.item == nil || p.item.out != out {
 		return client, nil, false
 	}
-	out.hop.evidence.Heard() // not by what is stray: that may have been on its way for long
+	out.hop.evidence.Received() // not by what is stray: that may have been on its way for long
 	f.table.Touch(r, at)
 	return f.flows[r.Index].client, text, true
 }
--- a/internal/udp/runs_test.go
+++ b/internal/udp/runs_test.go
@@ -69,7 +69,7 @@
 
 // Beacons of many sizes go through, and joined ones arrive as they were sent.
 func TestRunsOnSockets(t *testing.T) {
-	f, _, h := front(t, both(shared, func(o *Options) { o.Proxy = false; o.Queue.Count, o.Queue.Bytes = 100, 1<<20 }))
+	f, _, h := front(t, both(shared, func(o *Options) { o.ProxyHeader = false; o.FlowQueue.Count, o.FlowQueue.Bytes = 100, 1<<20 }))
 	x := dial(t, f)
 	x.send("first")
 	eventually(t, "it is placed", func() bool { return h.count("a") == 1 })
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -39,7 +39,7 @@
 )
 
 // Decider places flows; *decide.Core does.
-type Decider interface {
+type Dispatcher interface {
 	Submit(item dispatch.Item, b dispatch.Branches)
 	CallerGone(item dispatch.Item)
 	Ended(item dispatch.Item, outcome balance.Outcome)
@@ -48,7 +48,7 @@
 }
 
 // Hops knows where next hops are, and which may be sent to.
-type Hops interface {
+type Endpoints interface {
 	Address(server string) string // empty if it is not known
 	// MaySend is false once the drain grace is over, with some of it kept back.
 	MaySend(server string, now time.Time) bool
@@ -58,20 +58,20 @@
 
 // Options size the front.
 type Options struct {
-	Listen   netip.AddrPort // one address, not all of the machine's: replies come from it
-	Class    string
-	Deadline time.Duration // for a decision; what waits longer is dropped
-	Table    flowtable.Options
-	Sources  flowtable.SourceOptions
-	Queue    flowtable.Bounds // of one flow, while it waits for a decision
-	Room     flowtable.Room   // for all that wait
-	New      flowtable.Pace   // for flows that are new: what a flood may cost the module
-	Again    flowtable.Pace   // for flows that have lost their next hop
-	Sockets  int              // to next hops: one for each flow, or for each next hop and front
-	Shared   bool             // flows share a next hop's socket, which replies by Proxy alone
-	Proxy    bool             // a PROXY v2 header before each datagram to next hops
-	Silence  flowtable.SilenceOptions
-	Echo     string // a datagram that next hops answer, to ask for their health; empty for their probes
+	Listen        netip.AddrPort // one address, not all of the machine's: replies come from it
+	Class         string
+	Deadline      time.Duration // for a decision; what waits longer is dropped
+	Table         flowtable.Options
+	Sources       flowtable.SourceOptions
+	FlowQueue     flowtable.QueueLimit  // of one flow, while it waits for a decision
+	QueueBudget   flowtable.QueueBudget // for all that wait
+	NewFlows      flowtable.Pacer       // for flows that are new: what a flood may cost the module
+	ReplacedFlows flowtable.Pacer       // for flows that have lost their next hop
+	Sockets       int                   // to next hops: one for each flow, or for each next hop and front
+	SharedSockets bool                  // flows share a next hop's socket, which replies by Proxy alone
+	ProxyHeader   bool                  // a PROXY v2 header before each datagram to next hops
+	Silence       flowtable.SilenceOptions
+	Echo          string // a datagram that next hops answer, to ask for their health; empty for their probes
 }
 
 // Counts say what became of datagrams: In = Forwarded + the drops + what waits.
@@ -88,10 +88,10 @@
 }
 
 // Front serves one socket.
-type Front struct {
+type Listener struct {
 	o       Options
-	core    Decider
-	hops    Hops
+	core    Dispatcher
+	hops    Endpoints
 	conn    *net.UDPConn
 	addr    netip.AddrPort // where it listens
 	packets *ipv4.PacketConn
@@ -102,9 +102,9 @@
 	mu       sync.Mutex
 	table    *flowtable.Table
 	sources  *flowtable.Sources
-	room     flowtable.Room
-	fresh    flowtable.Pace     // new flows in line
-	again    flowtable.Pace     // those that were placed before, which go first
+	room     flowtable.QueueBudget
+	fresh    flowtable.Pacer    // new flows in line
+	again    flowtable.Pacer    // those that were placed before, which go first
 	flows    []place            // beside the table's entries
 	placed   int                // flows that have a socket
 	sockets  int                // that they have
@@ -125,7 +125,7 @@
 // place is what the front keeps of a flow.
 type place struct {
 	client  netip.AddrPort
-	waiting flowtable.Waiting
+	waiting flowtable.Queue
 	item    *item // the placement that is asked for or stands, nil if none is
 	inLine  bool  // it waits to be placed again
 }
@@ -133,7 +133,7 @@
 // item is one placement of a flow.
 type item struct {
 	dispatch.Request
-	front *Front
+	front *Listener
 	ref   flowtable.Ref
 	// Under the front's lock:
 	server string
@@ -143,20 +143,20 @@
 
 // newFront returns one that takes what comes by conn. Serve has to be called for anything
 // to happen.
-func newFront(o Options, conn *net.UDPConn, core Decider, hops Hops) *Front {
+func newFront(o Options, conn *net.UDPConn, core Dispatcher, hops Endpoints) *Listener {
 	if o.Table.Seed == (maphash.Seed{}) {
 		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
 	}
-	return &Front{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
-		start: time.Now(), name: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), room: o.Room, fresh: o.New, again: o.Again,
+	return &Listener{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
+		start: time.Now(), name: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), room: o.QueueBudget, fresh: o.NewFlows, again: o.ReplacedFlows,
 		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, news: make(chan struct{}, 1)}
 }
 
 // Addr is where it listens.
-func (f *Front) Addr() netip.AddrPort { return f.addr }
+func (f *Listener) Addr() netip.AddrPort { return f.addr }
 
 // Len is how many flows are known and how many have a socket.
-func (f *Front) Len() (known, placed int) {
+func (f *Listener) Len() (known, placed int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, _ = f.table.Len()
@@ -164,7 +164,7 @@
 }
 
 // Serve forwards until ctx ends; then it lets all flows go and closes its sockets.
-func (f *Front) Serve(ctx context.Context) {
+func (f *Listener) Serve(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = f.conn.Close() })
 	defer stop()
 	over := make(chan struct{})
@@ -190,7 +190,7 @@
 
 // say has the Core told, under the lock and without waiting: the Core may itself be
 // waiting for the lock, to answer a flow.
-func (f *Front) say(news func()) {
+func (f *Listener) say(news func()) {
 	f.outbox = append(f.outbox, news)
 	select {
 	case f.news <- struct{}{}:
@@ -199,7 +199,7 @@
 }
 
 // tell tells the Core, until over is closed and all has been told.
-func (f *Front) tell(over <-chan struct{}) {
+func (f *Listener) tell(over <-chan struct{}) {
 	for ended := false; !ended; {
 		select {
 		case <-f.news:
@@ -216,10 +216,10 @@
 	}
 }
 
-func (f *Front) now() time.Duration { return time.Since(f.start) }
+func (f *Listener) now() time.Duration { return time.Since(f.start) }
 
 // read takes datagrams in batches.
-func (f *Front) read(ctx context.Context) {
+func (f *Listener) read(ctx context.Context) {
 	messages := make([]ipv4.Message, batch)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, largest)}
@@ -249,7 +249,7 @@
 }
 
 // take is called under the lock for each datagram.
-func (f *Front) take(from netip.AddrPort, d []byte, now time.Time) {
+func (f *Listener) take(from netip.AddrPort, d []byte, now time.Time) {
 	f.Counts.In.Add(1)
 	k := flowtable.Key{Addr: from.Addr().As16(), Port: from.Port()}
 	at := now.Sub(f.start)
@@ -287,11 +287,11 @@
 		f.again.Add(r, f.wants)
 		f.placeInLine(now)
 	}
-	p.waiting.Put(append([]byte(nil), d...), f.o.Queue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
+	p.waiting.Put(append([]byte(nil), d...), f.o.FlowQueue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
 }
 
 // ask has the module place a flow.
-func (f *Front) ask(r flowtable.Ref, now time.Time) {
+func (f *Listener) ask(r flowtable.Ref, now time.Time) {
 	p := &f.flows[r.Index]
 	f.named++
 	k := p.client.Addr().String()
@@ -303,17 +303,19 @@
 
 // replace ends a flow's placement. It is placed again when it next sends and its turn
 // has come: of the flows of a server that is lost, most may have nothing more to say.
-func (f *Front) replace(x *item, outcome balance.Outcome) {
+func (f *Listener) replace(x *item, outcome balance.Outcome) {
 	f.end(x, outcome)
 	f.Counts.Replaced.Add(1)
 }
 
 // wants tells whether a flow in line still has to be placed.
-func (f *Front) wants(r flowtable.Ref) bool { return f.table.Valid(r) && f.flows[r.Index].item == nil }
+func (f *Listener) wants(r flowtable.Ref) bool {
+	return f.table.IsValid(r) && f.flows[r.Index].item == nil
+}
 
 // placeInLine asks for those whose turn it is.
-func (f *Front) placeInLine(now time.Time) {
-	for _, line := range []*flowtable.Pace{&f.again, &f.fresh} {
+func (f *Listener) placeInLine(now time.Time) {
+	for _, line := range []*flowtable.Pacer{&f.again, &f.fresh} {
 		for {
 			r, ok, _ := line.Next(now.Sub(f.start), f.wants)
 			if !ok {
@@ -326,7 +328,7 @@
 }
 
 // end ends a placement, whatever its state.
-func (f *Front) end(x *item, outcome balance.Outcome) {
+func (f *Listener) end(x *item, outcome balance.Outcome) {
 	if x.over {
 		return
 	}
@@ -346,7 +348,7 @@
 }
 
 // leave forgets what the front has of a flow.
-func (f *Front) leave(r flowtable.Ref) {
+func (f *Listener) leave(r flowtable.Ref) {
 	p := &f.flows[r.Index]
 	p.waiting.Drain(&f.room, func([]byte) { f.Counts.Gone.Add(1) })
 	if p.item != nil {
@@ -355,7 +357,7 @@
 }
 
 // keep lets time pass: flows expire, those in line are placed again.
-func (f *Front) keep(ctx context.Context) {
+func (f *Listener) keep(ctx context.Context) {
 	tick := time.NewTicker(step)
 	defer tick.Stop()
 	for {
@@ -380,7 +382,7 @@
 
 // Look is told that the list of next hops has changed: flows whose next hop drains or
 // is gone leave it at once, and what they send next goes elsewhere, at the pace.
-func (f *Front) Look() {
+func (f *Listener) Look() {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -412,7 +414,7 @@
 // Start gives a flow its socket. Nothing is sent to find out whether the next hop is
 // there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
 // silence ends it later.
-func (f *Front) Start(i dispatch.Item, attempt int, server string, _ time.Time) {
+func (f *Listener) Start(i dispatch.Item, attempt int, server string, _ time.Time) {
 	x := i.(*item)
 	f.wg.Go(func() {
 		begun := time.Now()
@@ -424,7 +426,7 @@
 	})
 }
 
-func (f *Front) up(x *item, server string, now time.Time) bool {
+func (f *Listener) up(x *item, server string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if x.over || f.closed || !f.hops.MaySend(server, now) {
@@ -448,7 +450,7 @@
 	})
 	f.flush()
 	if made && out.flows > 0 { // else it stood, if not for long; Ended has been told
-		if f.o.Shared {
+		if f.o.SharedSockets {
 			f.wg.Go(func() { f.sharedReplies(out) })
 		} else {
 			f.wg.Go(func() { f.replies(x, out.conn) })
@@ -459,7 +461,7 @@
 
 // replies passes on what a next hop answers, to the flow's own client alone: the
 // socket is that placement's, and ends with it.
-func (f *Front) replies(x *item, conn *net.UDPConn) {
+func (f *Listener) replies(x *item, conn *net.UDPConn) {
 	client := f.clientOf(x)
 	buffer := make([]byte, usual)
 	for {
@@ -482,9 +484,9 @@
 			continue
 		}
 		f.mu.Lock()
-		stands := !x.over && f.table.Valid(x.ref)
+		stands := !x.over && f.table.IsValid(x.ref)
 		if stands {
-			x.out.hop.evidence.Heard()
+			x.out.hop.evidence.Received()
 			f.table.Touch(x.ref, f.now())
 		}
 		f.mu.Unlock()
@@ -498,7 +500,7 @@
 	}
 }
 
-func (f *Front) clientOf(x *item) netip.AddrPort {
+func (f *Listener) clientOf(x *item) netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.flows[x.ref.Index].client
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -122,17 +122,17 @@
 	}()
 }
 
-func front(t testing.TB, change func(*Options)) (*Front, *chooser, *hops) {
+func front(t testing.TB, change func(*Options)) (*Listener, *chooser, *hops) {
 	t.Helper()
 	all, c, h := fronts(t, 1, change)
 	return all[0], c, h
 }
 
-func fronts(t testing.TB, n int, change func(*Options)) (Fronts, *chooser, *hops) {
+func fronts(t testing.TB, n int, change func(*Options)) (Listeners, *chooser, *hops) {
 	t.Helper()
 	o := Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Class: "feed", Deadline: time.Second, Sockets: 100,
-		Table: flowtable.Options{Entries: 50, Idle: 10 * time.Second, Settled: 1},
-		Queue: flowtable.Bounds{Count: 3, Bytes: 1 << 17}, Room: flowtable.Room{Count: 100, Bytes: 1 << 20}, New: flowtable.Pace{Rate: 1000, Burst: 10}, Again: flowtable.Pace{Rate: 1000, Burst: 10}}
+		Table:     flowtable.Options{Entries: 50, IdleTimeout: 10 * time.Second, SettledDatagrams: 1},
+		FlowQueue: flowtable.QueueLimit{Count: 3, Bytes: 1 << 17}, QueueBudget: flowtable.QueueBudget{Count: 100, Bytes: 1 << 20}, NewFlows: flowtable.Pacer{Rate: 1000, Burst: 10}, ReplacedFlows: flowtable.Pacer{Rate: 1000, Burst: 10}}
 	if change != nil {
 		change(&o)
 	}
@@ -162,7 +162,7 @@
 // modes are the ways to next hops; a shared socket's replies need the header.
 var modes = map[string]func(*Options){"a socket each": nil, "shared": shared}
 
-func shared(o *Options) { o.Shared, o.Proxy = true, true }
+func shared(o *Options) { o.SharedSockets, o.ProxyHeader = true, true }
 
 // both changes options for a mode and a test.
 func both(mode, more func(*Options)) func(*Options) {
@@ -355,7 +355,7 @@
 	for name, mode := range modes {
 		t.Run(name, func(t *testing.T) {
 			f, c, h := front(t, both(mode, func(o *Options) {
-				o.Table.Entries, o.Sockets, o.Room.Count, o.New.Burst = 2*flows, 2*flows, 2*flows, 2*flows
+				o.Table.Entries, o.Sockets, o.QueueBudget.Count, o.NewFlows.Burst = 2*flows, 2*flows, 2*flows, 2*flows
 				o.Deadline = time.Minute
 			}))
 			c.set("")
@@ -404,7 +404,7 @@
 }
 
 func testExpiry(t *testing.T, mode func(*Options)) {
-	f, _, h := front(t, both(mode, func(o *Options) { o.Table.Idle = 64 * time.Millisecond }))
+	f, _, h := front(t, both(mode, func(o *Options) { o.Table.IdleTimeout = 64 * time.Millisecond }))
 	x := dial(t, f)
 	x.send("1")
 	x.expect("a:1")
@@ -542,7 +542,7 @@
 }
 
 // refOf is a client's flow; none if it is not known.
-func (f *Front) refOf(client netip.AddrPort) flowtable.Ref {
+func (f *Listener) refOf(client netip.AddrPort) flowtable.Ref {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, _ := f.table.Lookup(flowtable.Key{Addr: client.Addr().As16(), Port: client.Port()})
@@ -550,7 +550,7 @@
 }
 
 // socketsOf is where the front has shared sockets, by next hop.
-func (f *Front) socketsOf() map[string]netip.AddrPort {
+func (f *Listener) socketsOf() map[string]netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := map[string]netip.AddrPort{}
@@ -564,7 +564,7 @@
 // for a datagram costs itself alone.
 func TestSharedBatches(t *testing.T) {
 	f, _, h := front(t, both(shared, func(o *Options) {
-		o.Sockets, o.Table.Entries, o.New.Burst, o.Queue.Count, o.Room.Count = 2, 500, 500, 100, 1000
+		o.Sockets, o.Table.Entries, o.NewFlows.Burst, o.FlowQueue.Count, o.QueueBudget.Count = 2, 500, 500, 100, 1000
 	}))
 	clients := make([]client, 100)
 	for i := range clients {
@@ -597,12 +597,12 @@
 func TestEndsInFlight(t *testing.T) {
 	for name, mode := range modes {
 		t.Run(name, func(t *testing.T) {
-			var all Fronts
+			var all Listeners
 			var c *chooser
 			var senders sync.WaitGroup
 			stop := make(chan struct{})
 			t.Run("serves", func(inner *testing.T) { // the fronts end with it, the clients later
-				all, c, _ = fronts(inner, 2, both(mode, func(o *Options) { o.Table.Entries, o.Sockets, o.New.Burst = 200, 200, 200 }))
+				all, c, _ = fronts(inner, 2, both(mode, func(o *Options) { o.Table.Entries, o.Sockets, o.NewFlows.Burst = 200, 200, 200 }))
 				var clients []client
 				for range 50 {
 					x := dial(t, all)
@@ -628,7 +628,7 @@
 			in, out := int64(0), int64(0)
 			for _, f := range all {
 				in += f.Counts.In.Load()
-				out += f.Counts.Forwarded.Load() + f.Counts.Dropped() + int64(f.o.Room.Count-f.room.Count)
+				out += f.Counts.Forwarded.Load() + f.Counts.Dropped() + int64(f.o.QueueBudget.Count-f.room.Count)
 			}
 			if in != out || len(c.ended) != len(c.placed) || len(c.placed) < 50 {
 				t.Errorf("%d in, %d out, dropped or waiting; %d ended of %d that stood", in, out, len(c.ended), len(c.placed))
@@ -644,7 +644,7 @@
 		t.Run(name, func(t *testing.T) {
 			const flows = 60
 			all, c, h := fronts(t, 3, both(mode, func(o *Options) {
-				o.Table.Entries, o.Sockets, o.New.Burst, o.Table.Policy = 300, 300, 300, flowtable.RefuseNew
+				o.Table.Entries, o.Sockets, o.NewFlows.Burst, o.Table.Policy = 300, 300, 300, flowtable.RefuseNew
 			}))
 			for i := range flows {
 				x := dial(t, all)
@@ -690,8 +690,8 @@
 		})
 	}
 	var tight Options
-	tight.Table.Entries, tight.Sockets, tight.Room, tight.New = 100, 8, flowtable.Room{Count: 4, Bytes: 10}, flowtable.Pace{Rate: 30, Burst: 2}
-	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.Room != (flowtable.Room{Count: 2, Bytes: 4}) || p.New.Rate != 10 || p.New.Burst != 1 {
+	tight.Table.Entries, tight.Sockets, tight.QueueBudget, tight.NewFlows = 100, 8, flowtable.QueueBudget{Count: 4, Bytes: 10}, flowtable.Pacer{Rate: 30, Burst: 2}
+	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.QueueBudget != (flowtable.QueueBudget{Count: 2, Bytes: 4}) || p.NewFlows.Rate != 10 || p.NewFlows.Burst != 1 {
 		t.Errorf("a third of the bounds: %+v", p)
 	}
 	if a, b := newPorts(0, 2), newPorts(1, 2); a.first+a.count != b.first {
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -85,7 +85,7 @@
 	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
 		return false, balance.ConnectFailed, balance.NoLoad // its last byte was not written
 	}
-	b.t.Figures.Relayed()
+	b.t.Figures.Forwarded()
 	text, err := l.ReadText(b.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -48,11 +48,11 @@
 			})
 			held := hold(h)
 			near, far := net.Pipe()
-			o, err := lineproto.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
+			o, err := lineproto.ParseConnectRequest([]byte("OPEN a k c=feed,d=2000,g=x"))
 			if err != nil {
 				t.Fatal(err)
 			}
-			x := proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Front{}, w, bufconn.New(near))
+			x := proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Codec{}, w, bufconn.New(near))
 			ran := make(chan struct{})
 			go func() { defer close(ran); x.Run() }()
 			h.Start(x, 0, "s1", time.Now().Add(patience))
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -89,11 +89,11 @@
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
-	o, err := lineproto.ParseOpen([]byte("OPEN a k c=feed,d=2000,g=x"))
+	o, err := lineproto.ParseConnectRequest([]byte("OPEN a k c=feed,d=2000,g=x"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Front{}, w, bufconn.New(near))
+	return proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Codec{}, w, bufconn.New(near))
 }
 
 // What comes back decides the outcome, as the protocol's table says.
