--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -19,7 +19,7 @@
 // is not.
 type tokenResumption struct {
 	service  *replayguard.Service
-	sessions resumption.Sessions
+	sessions resumption.Factory
 }
 
 // startResume starts it, if the operator's file says so.
@@ -55,7 +55,7 @@
 	parts.Go(func() { l.Run(ctx) })
 	parts.Go(func() { s.Run(ctx) })
 	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.Kept(), "survives", l.Stays, "peers", len(o.ReplayGuard.Peers))
-	return &tokenResumption{service: s, sessions: resumption.Sessions{Tokens: s}}, nil
+	return &tokenResumption{service: s, sessions: resumption.Factory{Tokens: s}}, nil
 }
 
 func terms(o operatorconfig.Resume) (replayguard.Terms, error) {
--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -14,19 +14,19 @@
 )
 
 // Tokens mints and redeems; *ledger.Service does.
-type Tokens interface {
+type TokenService interface {
 	Mint(flowKey, group string, pos resumetoken.Position) string
 	Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome
 }
 
-var _ Tokens = (*replayguard.Service)(nil)
+var _ TokenService = (*replayguard.Service)(nil)
 
 // Sessions makes them.
-type Sessions struct{ Tokens Tokens }
+type Factory struct{ Tokens TokenService }
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Sessions) Continuity(o *lineproto.ConnectRequest) proxy.Continuity {
+func (s Factory) Continuity(o *lineproto.ConnectRequest) proxy.Continuity {
 	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
 	if o.ResumeToken != lineproto.ResumeWanted {
 		c.token = o.ResumeToken
@@ -40,7 +40,7 @@
 
 // session is one caller's. Begin runs beside the others, which belong to the relay.
 type session struct {
-	tokens      Tokens
+	tokens      TokenService
 	key, group  string
 	token       string              // that it presented; empty if none
 	floor       resumetoken.Outcome // what it says it has: it can only ask for no older
