--- a/balance/actions.go
+++ b/balance/actions.go
@@ -17,16 +17,16 @@
 }
 
 // Refuse is a final answer: declined, and trying again is harmless.
-type Refuse struct {
-	ID    string
-	Pause time.Duration // the client ought not to return sooner; 0 for no advice
+type Reject struct {
+	ID         string
+	RetryAfter time.Duration // the client ought not to return sooner; 0 for no advice
 }
 
 // Fail is a final answer that promises nothing.
 type Fail struct{ ID string }
 
 // Move ends an open connection politely; its client comes again.
-type Move struct{ ID string }
+type Migrate struct{ ID string }
 
 // Probe asks a server for its load.
 type Probe struct{ Server string }
@@ -44,9 +44,9 @@
 type Log struct{ Text string }
 
 func (Attempt) action()   {}
-func (Refuse) action()    {}
+func (Reject) action()    {}
 func (Fail) action()      {}
-func (Move) action()      {}
+func (Migrate) action()   {}
 func (Probe) action()     {}
 func (SetTimer) action()  {}
 func (Subscribe) action() {}
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -22,7 +22,7 @@
 	// The answer must be out before the deadline; two ticks cover rounding
 	// and a batch that comes late.
 	r.giveUp = q.Deadline - 2*b.set.Tick
-	if b.now < b.sharedTo && b.over > 0 && !q.Returned && !q.Retry && b.rng.Float64() < b.over {
+	if b.now < b.sharedTo && b.over > 0 && !q.Reconnecting && !q.ClientRetry && b.rng.Float64() < b.over {
 		b.finish(r) // the fleet can't carry it
 		return
 	}
@@ -30,7 +30,7 @@
 }
 
 // adopt takes over a connection that already runs.
-func (b *Balancer) adopt(e OpenConn) {
+func (b *Balancer) adopt(e OpenConnection) {
 	r := b.track(e.Request)
 	r.attempts = 1
 	if s := b.servers[e.Server]; s != nil {
@@ -63,7 +63,7 @@
 // is told so at once, and when to come again, instead of when its client is about to
 // give up anyway.
 func (b *Balancer) turnWithin(r *request) time.Duration {
-	return cmp.Or(r.class.Aim, r.class.Deadline)
+	return cmp.Or(r.class.LatencyObjective, r.class.Deadline)
 }
 
 // hopeless tells whether r has no attempt left, or no ready server may be sent it. Then
@@ -71,7 +71,7 @@
 // asking again. Before the first list all may still come, but to whose bound allows nothing.
 func (b *Balancer) hopeless(r *request) bool {
 	return r.attempts >= b.set.Limits.MaxAttempts ||
-		(b.listed || r.Bound != nil && len(r.Bound.Zones) == 0 && r.Bound.Rest == 0) &&
+		(b.listed || r.Constraint != nil && len(r.Constraint.Zones) == 0 && r.Constraint.DefaultShare == 0) &&
 			!slices.ContainsFunc(b.ready, func(s *server) bool { return b.allowed(r, s) })
 }
 
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -20,7 +20,7 @@
 		for i := range d.timers { // as a clock that counts in microseconds has it
 			d.timers[i].at = d.timers[i].at.Truncate(time.Microsecond)
 		}
-		if got := pick[Refuse](d.run(3 * time.Second)); len(got) != 1 {
+		if got := pick[Reject](d.run(3 * time.Second)); len(got) != 1 {
 			t.Fatalf("seed %d: %d refusals with no server known, want 1", seed, len(got))
 		}
 	}
@@ -37,7 +37,7 @@
 		t.Fatalf("%d probes, want 1", len(asked))
 	}
 	got := d.answer(asked[0].Server, 0.1)
-	if len(pick[Refuse](got)) != 1 || len(pick[Attempt](got)) != 0 {
+	if len(pick[Reject](got)) != 1 || len(pick[Attempt](got)) != 0 {
 		t.Errorf("got %v, want one refusal", got)
 	}
 }
@@ -48,9 +48,9 @@
 	d := newBench(t, settings(), "a", "b")
 	loads := map[string]float64{"a": 0.1, "b": 0.1}
 	_, at := drawsUntilPlaced(d, "r1", loads)
-	d.tell(Started{ID: "r1", Server: at})
+	d.tell(ConnectionEstablished{ID: "r1", Server: at})
 	d.now += 100 * ms
-	d.tell(AttemptEnded{ID: "r1", Server: at, Outcome: Reset, Final: true, Load: NoLoad})
+	d.tell(AttemptEnded{ID: "r1", Server: at, Outcome: Reset, Final: true, LoadReport: EmptyLoadReport})
 	if probes, at := drawsUntilPlaced(d, "r2", loads); probes != 0 || at != "" {
 		t.Errorf("placed on %q after %d probes at once, want a pause", at, probes)
 	}
@@ -68,9 +68,9 @@
 	asked := d.now
 	d.request("r")
 	for d.now < asked+2*time.Second {
-		if got := pick[Refuse](d.run(d.now + ms)); len(got) == 1 {
-			if took := d.now - asked; took > 410*ms || got[0].Pause == 0 {
-				t.Errorf("answered after %v with a pause of %v, want its aim of 400 ms and a pause", took, got[0].Pause)
+		if got := pick[Reject](d.run(d.now + ms)); len(got) == 1 {
+			if took := d.now - asked; took > 410*ms || got[0].RetryAfter == 0 {
+				t.Errorf("answered after %v with a pause of %v, want its aim of 400 ms and a pause", took, got[0].RetryAfter)
 			}
 			return
 		}
@@ -85,15 +85,15 @@
 		server []string
 	}{
 		{"no server known", func(*Settings) {}, nil},
-		{"no retry-after", func(s *Settings) { s.Limits.RetryAfter = false }, nil},
+		{"no retry-after", func(s *Settings) { s.Limits.SendRetryAfter = false }, nil},
 	}
 	for _, tt := range tests {
 		set := settings()
 		tt.set(&set)
 		d := newBench(t, set, tt.server...)
 		d.request("r")
-		got := pick[Refuse](d.run(d.now + 2*time.Second))
-		if len(got) != 1 || (got[0].Pause > 0) != set.Limits.RetryAfter {
+		got := pick[Reject](d.run(d.now + 2*time.Second))
+		if len(got) != 1 || (got[0].RetryAfter > 0) != set.Limits.SendRetryAfter {
 			t.Errorf("%s: %v, want one refusal", tt.name, got)
 		}
 	}
--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -13,7 +13,7 @@
 // group pays for it, one of the group's homes goes before s if it is not above
 // highest, or at no higher level than s: the homes are probed in turn.
 func (b *Balancer) settleOn(r *request, s *server) {
-	if !b.set.Conns.Groups || r.Group == "" {
+	if !b.set.Connections.GroupAffinity || r.Group == "" {
 		b.send(r, s)
 		return
 	}
--- a/balance/affinity_test.go
+++ b/balance/affinity_test.go
@@ -13,9 +13,9 @@
 // paid for the group: a tie goes to where this instance holds it.
 func TestGroupsStayTogether(t *testing.T) {
 	set := settings()
-	set.Conns.Groups = true
+	set.Connections.GroupAffinity = true
 	d := newBench(t, set, "a", "b", "c", "d", "e", "f")
-	d.tell(OpenConn{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "d"})
+	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "d"})
 	for i, tt := range []struct {
 		load float64
 		home bool
@@ -40,7 +40,7 @@
 // the usual, or full, their members scattered over the fleet, and each new holder paid.
 func TestInstancesGatherAGroup(t *testing.T) {
 	set := settings()
-	set.Conns.Groups, set.Instances = true, 40
+	set.Connections.GroupAffinity, set.Instances = true, 40
 	ids := make([]string, 20)
 	for i := range ids {
 		ids[i] = fmt.Sprint("s", i)
@@ -88,15 +88,15 @@
 // A group's homes are those that its route and the fleet allow, and it gathers there.
 func TestHomesWithinBounds(t *testing.T) {
 	set := settings()
-	set.Conns.Groups = true
+	set.Connections.GroupAffinity = true
 	d := newBench(t, set)
 	var list []ServerEntry
 	for i := range 120 {
 		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint(i % 12)})
 	}
 	d.list(ListFull, list...)
-	d.grant(Granted{Zones: []ZoneGrant{{"3", 0, -1}}})
-	got := d.spread(Request{Group: "g", Bound: only("3", "7")}, 50)
+	d.grant(QuotaLease{Zones: []ZoneQuota{{"3", 0, -1}}})
+	got := d.spread(Request{Group: "g", Constraint: only("3", "7")}, 50)
 	for at := range got {
 		if s := d.b.servers[at]; s == nil || s.Zone != "7" {
 			t.Errorf("%q took members", at)
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -20,8 +20,8 @@
 				ids = append(ids, fmt.Sprint("s", i))
 			}
 			actions := b.Handle(0, ListUpdate{Kind: ListFull, Entries: entries(ids...)}, nil)
-			now, load := time.Second, NoLoad
-			load.X0 = 0.1
+			now, load := time.Second, EmptyLoadReport
+			load.Utilization = 0.1
 			bm.ReportAllocs()
 			for bm.Loop() {
 				now += 10 * ms
@@ -29,13 +29,13 @@
 				actions = b.Handle(now, Request{ID: "r", Class: "c", Deadline: now + time.Second}, actions[:0])
 				for placed == "" {
 					probe := pick[Probe](actions)[0]
-					actions = b.Handle(now, ProbeAnswer{Server: probe.Server, Outcome: OK, Latency: ms, Load: load}, actions[:0])
+					actions = b.Handle(now, ProbeResult{Server: probe.Server, Outcome: OK, Latency: ms, LoadReport: load}, actions[:0])
 					if sent := pick[Attempt](actions); len(sent) > 0 {
 						placed = sent[0].Server
 					}
 				}
-				b.Handle(now, Started{ID: "r", Server: placed}, actions[:0])
-				b.Handle(now, AttemptEnded{ID: "r", Server: placed, Outcome: OK, Final: true, Load: NoLoad}, actions[:0])
+				b.Handle(now, ConnectionEstablished{ID: "r", Server: placed}, actions[:0])
+				b.Handle(now, AttemptEnded{ID: "r", Server: placed, Outcome: OK, Final: true, LoadReport: EmptyLoadReport}, actions[:0])
 			}
 		})
 	}
--- a/balance/constraints.go
+++ b/balance/constraints.go
@@ -18,8 +18,8 @@
 	if z := b.zoneOf(s); z != nil {
 		p = z.share
 	}
-	if r.Bound != nil {
-		p *= r.Bound.part(s.Zone)
+	if r.Constraint != nil {
+		p *= r.Constraint.part(s.Zone)
 	}
 	return p
 }
@@ -31,13 +31,13 @@
 }
 
 // part is the part of a zone's draws that q keeps.
-func (q *Bound) part(zone string) float64 {
+func (q *ZoneConstraint) part(zone string) float64 {
 	for _, z := range q.Zones {
 		if z.Zone == zone {
 			return clamp(z.Share)
 		}
 	}
-	return clamp(q.Rest)
+	return clamp(q.DefaultShare)
 }
 
 // pickAmong draws as pick does where most draws are void: of all servers at once, each by
--- a/balance/constraints_test.go
+++ b/balance/constraints_test.go
@@ -19,10 +19,10 @@
 }
 
 // only is a bound to some zones.
-func only(zones ...string) *Bound {
-	q := &Bound{Name: "route"}
+func only(zones ...string) *ZoneConstraint {
+	q := &ZoneConstraint{Name: "route"}
 	for _, z := range zones {
-		q.Zones = append(q.Zones, ZonePart{z, 1})
+		q.Zones = append(q.Zones, ZoneShare{z, 1})
 	}
 	return q
 }
@@ -50,7 +50,7 @@
 	for range n {
 		at, actions := d.place(q)
 		if got[at]++; at == "" {
-			if refused := pick[Refuse](actions); len(refused) != 1 || refused[0].Pause == 0 {
+			if refused := pick[Reject](actions); len(refused) != 1 || refused[0].RetryAfter == 0 {
 				d.t.Fatalf("%v, want one refusal with a pause", actions)
 			}
 		}
@@ -58,8 +58,8 @@
 	return got
 }
 
-func (d *bench) grant(g Granted) []Action {
-	g.Half, g.For, g.Until = max(g.Half, 1), time.Minute, d.now+time.Minute
+func (d *bench) grant(g QuotaLease) []Action {
+	g.Period, g.LeaseDuration, g.TokensExpireAt = max(g.Period, 1), time.Minute, d.now+time.Minute
 	return d.tell(g)
 }
 
@@ -68,30 +68,30 @@
 	nan := math.NaN()
 	for _, tt := range []struct {
 		name  string
-		zones []ZoneGrant
+		zones []ZoneQuota
 		over  float64
-		bound *Bound
+		bound *ZoneConstraint
 		want  map[string]float64
 	}{
 		{"none", nil, 0, nil, even},
-		{"a zone left", []ZoneGrant{{"a", 0, -1}}, 0, nil, map[string]float64{"b1": 1. / 3, "c1": 1. / 3, "d1": 1. / 3}},
-		{"a third of a zone", []ZoneGrant{{"a", 1. / 3, -1}}, 0, nil, map[string]float64{"a1": 0.1, "b1": 0.3, "c1": 0.3, "d1": 0.3}},
-		{"all zones left", []ZoneGrant{{"a", 0, -1}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, 0, nil, map[string]float64{"": 1}},
+		{"a zone left", []ZoneQuota{{"a", 0, -1}}, 0, nil, map[string]float64{"b1": 1. / 3, "c1": 1. / 3, "d1": 1. / 3}},
+		{"a third of a zone", []ZoneQuota{{"a", 1. / 3, -1}}, 0, nil, map[string]float64{"a1": 0.1, "b1": 0.3, "c1": 0.3, "d1": 0.3}},
+		{"all zones left", []ZoneQuota{{"a", 0, -1}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, 0, nil, map[string]float64{"": 1}},
 		{"a fourth over", nil, 0.25, nil, map[string]float64{"": 0.25, "a1": 0.19, "b1": 0.19, "c1": 0.19, "d1": 0.19}},
 		{"a route to one zone", nil, 0, only("c"), map[string]float64{"c1": 1}},
-		{"a canary", nil, 0, &Bound{Zones: []ZonePart{{"a", 0.1}, {"b", 0.9}}}, map[string]float64{"a1": 0.1, "b1": 0.9}},
+		{"a canary", nil, 0, &ZoneConstraint{Zones: []ZoneShare{{"a", 0.1}, {"b", 0.9}}}, map[string]float64{"a1": 0.1, "b1": 0.9}},
 		{"a route to no zone that is there", nil, 0, only("x"), map[string]float64{"": 1}},
-		{"the rest in part", nil, 0, &Bound{Zones: []ZonePart{{"a", 1}}, Rest: 1. / 3}, map[string]float64{"a1": 0.5, "b1": 1. / 6, "c1": 1. / 6, "d1": 1. / 6}},
-		{"bad numbers of a route", nil, 0, &Bound{Zones: []ZonePart{{"a", nan}, {"b", -1}, {"c", 7}}, Rest: math.Inf(1)}, map[string]float64{"c1": 0.5, "d1": 0.5}},
-		{"bad numbers of the fleet", []ZoneGrant{{"a", nan, -1}, {"b", -3, -1}, {"c", 9, -1}}, nan, nil, map[string]float64{"c1": 0.5, "d1": 0.5}},
-		{"posture before route", []ZoneGrant{{"c", 0, -1}}, 0, only("c"), map[string]float64{"": 1}},
-		{"route within posture", []ZoneGrant{{"c", 1, -1}}, 0, only("b"), map[string]float64{"b1": 1}},
-		{"posture in part and route", []ZoneGrant{{"c", 0.25, -1}}, 0, only("c", "d"), map[string]float64{"c1": 0.2, "d1": 0.8}},
+		{"the rest in part", nil, 0, &ZoneConstraint{Zones: []ZoneShare{{"a", 1}}, DefaultShare: 1. / 3}, map[string]float64{"a1": 0.5, "b1": 1. / 6, "c1": 1. / 6, "d1": 1. / 6}},
+		{"bad numbers of a route", nil, 0, &ZoneConstraint{Zones: []ZoneShare{{"a", nan}, {"b", -1}, {"c", 7}}, DefaultShare: math.Inf(1)}, map[string]float64{"c1": 0.5, "d1": 0.5}},
+		{"bad numbers of the fleet", []ZoneQuota{{"a", nan, -1}, {"b", -3, -1}, {"c", 9, -1}}, nan, nil, map[string]float64{"c1": 0.5, "d1": 0.5}},
+		{"posture before route", []ZoneQuota{{"c", 0, -1}}, 0, only("c"), map[string]float64{"": 1}},
+		{"route within posture", []ZoneQuota{{"c", 1, -1}}, 0, only("b"), map[string]float64{"b1": 1}},
+		{"posture in part and route", []ZoneQuota{{"c", 0.25, -1}}, 0, only("c", "d"), map[string]float64{"c1": 0.2, "d1": 0.8}},
 	} {
 		d := zones(t, settings())
-		d.grant(Granted{Zones: tt.zones, Over: tt.over})
+		d.grant(QuotaLease{Zones: tt.zones, ShedFraction: tt.over})
 		const n = 1000
-		got := d.spread(Request{Bound: tt.bound}, n)
+		got := d.spread(Request{Constraint: tt.bound}, n)
 		for _, at := range []string{"", "a1", "b1", "c1", "d1"} {
 			if share := float64(got[at]) / n; math.Abs(share-tt.want[at]) > 0.05 || (share > 0) != (tt.want[at] > 0) {
 				t.Errorf("%s: %q got %.3f, want %.3f", tt.name, at, share, tt.want[at])
@@ -105,21 +105,21 @@
 func TestTokensOfAZone(t *testing.T) {
 	d := zones(t, settings())
 	back := func(half int64, tokens int) {
-		d.grant(Granted{Half: half, Zones: []ZoneGrant{{"a", 1, tokens}, {"b", 0, -1}, {"c", 1, 900}}})
+		d.grant(QuotaLease{Period: half, Zones: []ZoneQuota{{"a", 1, tokens}, {"b", 0, -1}, {"c", 1, 900}}})
 	}
 	back(1, 3)
 	back(1, 3) // said twice is not more
 	if got := d.spread(Request{}, 100)["a1"]; got != 3 {
 		t.Errorf("%d in the first half, want 3", got)
 	}
-	if got := d.b.Spending(d.now).Zones; len(got) != 2 || got[0] != (ZoneSpent{"a", 3}) || got[1].Zone != "c" {
+	if got := d.b.QuotaUsage(d.now).Zones; len(got) != 2 || got[0] != (ZoneUsage{"a", 3}) || got[1].Zone != "c" {
 		t.Errorf("%v is told to be spent", got)
 	}
 	back(2, 2)
 	if got := d.spread(Request{}, 100)["a1"]; got != 2 {
 		t.Errorf("%d in the second half, want 2", got)
 	}
-	d.tell(Granted{Half: 3, For: time.Minute, Until: d.now, Zones: []ZoneGrant{{"a", 1, 9}}})
+	d.tell(QuotaLease{Period: 3, LeaseDuration: time.Minute, TokensExpireAt: d.now, Zones: []ZoneQuota{{"a", 1, 9}}})
 	if got := d.spread(Request{}, 100)["a1"]; got != 0 {
 		t.Errorf("%d by tokens that are void, want 0", got)
 	}
@@ -132,8 +132,8 @@
 // Only what is new is over.
 func TestOverIsOfFirstArrivals(t *testing.T) {
 	d := zones(t, settings())
-	d.grant(Granted{Over: 1})
-	for q, want := range map[Request]int{{}: 20, {Returned: true}: 0, {Retry: true}: 0} {
+	d.grant(QuotaLease{ShedFraction: 1})
+	for q, want := range map[Request]int{{}: 20, {Reconnecting: true}: 0, {ClientRetry: true}: 0} {
 		if got := d.spread(q, 20)[""]; got != want {
 			t.Errorf("%+v: %d of 20 are refused, want %d", q, got, want)
 		}
@@ -146,57 +146,59 @@
 func TestWhatComesFirstBinds(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		first func(d *bench, g *Granted)
-		zones []ZoneGrant
-		bound *Bound
+		first func(d *bench, g *QuotaLease)
+		zones []ZoneQuota
+		bound *ZoneConstraint
 	}{
-		{"drain before posture", drain, []ZoneGrant{{"a", 1, 99}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, nil},
+		{"drain before posture", drain, []ZoneQuota{{"a", 1, 99}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, nil},
 		{"drain before route", drain, nil, only("a")},
-		{"cold before posture", cold, []ZoneGrant{{"a", 1, 99}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, nil},
+		{"cold before posture", cold, []ZoneQuota{{"a", 1, 99}, {"b", 0, -1}, {"c", 0, -1}, {"d", 0, -1}}, nil},
 		{"cold before route", cold, nil, only("a")},
-		{"drain before cold", func(d *bench, g *Granted) {
+		{"drain before cold", func(d *bench, g *QuotaLease) {
 			drain(d, g)
-			g.Servers = []Grant{{"a1", 0, 9}}
+			g.Servers = []ServerQuota{{"a1", 0, 9}}
 		}, nil, only("a")},
 	} {
 		d := zones(t, settings())
-		g := Granted{Zones: tt.zones}
+		g := QuotaLease{Zones: tt.zones}
 		tt.first(d, &g)
 		d.grant(g)
-		at, actions := d.place(Request{Bound: tt.bound})
+		at, actions := d.place(Request{Constraint: tt.bound})
 		if at != "" {
 			t.Errorf("%s: sent to %s", tt.name, at)
 		}
-		if all := append(actions, d.run(d.now+3*time.Second)...); len(pick[Refuse](all)) != 1 || len(pick[Attempt](all)) != 0 {
+		if all := append(actions, d.run(d.now+3*time.Second)...); len(pick[Reject](all)) != 1 || len(pick[Attempt](all)) != 0 {
 			t.Errorf("%s: %v, want one refusal", tt.name, all)
 		}
 	}
 }
 
-func drain(d *bench, _ *Granted) {
+func drain(d *bench, _ *QuotaLease) {
 	d.list(ListDelta, ServerEntry{ID: "a1", Zone: "a", State: Draining})
 }
 
 // cold makes the server cold, without a token.
-func cold(d *bench, _ *Granted) { d.list(ListDelta, ServerEntry{ID: "a1", Zone: "a", Started: d.now}) }
+func cold(d *bench, _ *QuotaLease) {
+	d.list(ListDelta, ServerEntry{ID: "a1", Zone: "a", StartedAt: d.now})
+}
 
 // A repeat that only one zone drops is not carried to another by a route, or because the
 // zone is left.
 func TestRepeatsBeforeBounds(t *testing.T) {
 	set := settings()
-	set.Classes[0].Effect, set.Classes[0].Scope, set.Classes[0].Window = Keyed, ScopeZone, time.Minute
+	set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].KeyWindow = IdempotencyKeyed, ScopeZone, time.Minute
 	for _, left := range []bool{true, false} {
 		d := zones(t, set)
 		d.list(ListDelta, ServerEntry{ID: "a2", Zone: "a"})
-		q := Request{Bound: only("a")}
+		q := Request{Constraint: only("a")}
 		at, _ := d.place(q)
 		id := fmt.Sprint("r", d.now)
 		if left {
-			d.grant(Granted{Zones: []ZoneGrant{{"a", 0, -1}}, Retries: 9})
+			d.grant(QuotaLease{Zones: []ZoneQuota{{"a", 0, -1}}, RetryBudget: 9})
 		} else {
-			q.Bound.Zones[0].Share, q.Bound.Rest = 0, 1
+			q.Constraint.Zones[0].Share, q.Constraint.DefaultShare = 0, 1
 		}
-		all := d.tell(AttemptEnded{ID: id, Server: at, Outcome: Errored, Load: NoLoad})
+		all := d.tell(AttemptEnded{ID: id, Server: at, Outcome: Errored, LoadReport: EmptyLoadReport})
 		if len(pick[Probe](all)) > 0 || len(pick[Fail](all)) != 1 {
 			t.Errorf("zone left %v: %v, want a failure at once", left, all)
 		}
@@ -206,11 +208,11 @@
 // Whoever waits as the last zone is left is answered then; what stands there stays.
 func TestLeavingAnswersWhoWaits(t *testing.T) {
 	d := zones(t, settings())
-	standing, _ := d.place(Request{Bound: only("a")})
-	d.tell(Started{ID: fmt.Sprint("r", d.now), Server: standing})
-	d.tell(Request{ID: "waits", Class: "c", Deadline: d.now + time.Second, Bound: only("a")})
-	all := d.grant(Granted{Zones: []ZoneGrant{{"a", 0, -1}}})
-	if refused := pick[Refuse](all); len(refused) != 1 || refused[0].ID != "waits" || len(pick[Move](all)) != 0 {
+	standing, _ := d.place(Request{Constraint: only("a")})
+	d.tell(ConnectionEstablished{ID: fmt.Sprint("r", d.now), Server: standing})
+	d.tell(Request{ID: "waits", Class: "c", Deadline: d.now + time.Second, Constraint: only("a")})
+	all := d.grant(QuotaLease{Zones: []ZoneQuota{{"a", 0, -1}}})
+	if refused := pick[Reject](all); len(refused) != 1 || refused[0].ID != "waits" || len(pick[Migrate](all)) != 0 {
 		t.Errorf("%v, want one refusal and no move", all)
 	}
 }
@@ -218,17 +220,17 @@
 // A route whose zone is full answers at once and holds nobody else up.
 func TestFullRouteIsNoCongestion(t *testing.T) {
 	d := zones(t, settings())
-	actions := d.tell(Request{ID: "r", Class: "c", Deadline: d.now + time.Second, Bound: only("a")})
+	actions := d.tell(Request{ID: "r", Class: "c", Deadline: d.now + time.Second, Constraint: only("a")})
 	for len(pick[Probe](actions)) > 0 {
 		actions = d.answer(pick[Probe](actions)[0].Server, 1.2)
 	}
-	if len(pick[Refuse](actions)) != 1 || d.b.pausedTo > d.now || d.b.window < widest {
+	if len(pick[Reject](actions)) != 1 || d.b.pausedTo > d.now || d.b.window < widest {
 		t.Errorf("%v, paused to %v and a window of %v", actions, d.b.pausedTo, d.b.window)
 	}
 }
 
 // within holds an attempt to its request's bound and to the fleet's word.
-func (w *world) within(q *Bound, zone string) {
+func (w *world) within(q *ZoneConstraint, zone string) {
 	if q != nil && q.part(zone) == 0 {
 		w.t.Fatalf("sent into %s, bound by %+v", zone, q)
 	}
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -73,7 +73,7 @@
 			return s
 		}
 	}
-	if r.Bound != nil || b.zoned && b.now < b.sharedTo {
+	if r.Constraint != nil || b.zoned && b.now < b.sharedTo {
 		return b.pickAmong(r)
 	}
 	return nil
@@ -107,7 +107,7 @@
 }
 
 // Avoided counts the listed servers that are left out of all or of most draws.
-func (b *Balancer) Avoided() (n int) {
+func (b *Balancer) AvoidedServers() (n int) {
 	for _, s := range b.servers {
 		if s.State != Gone && (s.slot < 0 || b.trust(s)*b.bound(&request{}, s) < 0.5) {
 			n++
@@ -148,7 +148,7 @@
 		s, r.bestLoad = b.remembered(r)
 	}
 	if s == nil || s.slot < 0 || r.bestLoad >= fullLoad {
-		if r.Bound != nil && b.listed { // others may go elsewhere: it tells nothing of the fleet
+		if r.Constraint != nil && b.listed { // others may go elsewhere: it tells nothing of the fleet
 			b.finish(r)
 			return
 		}
--- a/balance/draw_test.go
+++ b/balance/draw_test.go
@@ -131,12 +131,12 @@
 	d := newBench(t, settings(), "a", "b", "c")
 	expect := func(n int, when string) {
 		t.Helper()
-		if got := d.b.Avoided(); got != n {
+		if got := d.b.AvoidedServers(); got != n {
 			t.Errorf("%s: %d avoided, want %d", when, got, n)
 		}
 	}
 	expect(0, "at first")
-	silent := ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad}
+	silent := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
 	d.tell(silent)
 	expect(0, "after one failure")
 	d.tell(silent)
@@ -162,9 +162,9 @@
 // Without probes the last reports decide, as they came with outcomes.
 func TestProbingNotAllowed(t *testing.T) {
 	set := settings()
-	set.Limits.Probes, set.Reports, set.Conns.Groups = false, Reports{WithAnswers: true}, true
+	set.Limits.ProbesAllowed, set.LoadReporting, set.Connections.GroupAffinity = false, LoadReporting{InOutcomes: true}, true
 	d := newBench(t, set, "a", "b", "c")
-	d.tell(OpenConn{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
+	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
 	for _, group := range []string{"", "g", "h"} { // a group's homes are not probed either
 		got := d.tell(Request{ID: "r" + group, Class: "c", Group: group, Deadline: d.now + 2*time.Second})
 		if len(pick[Probe](got)) != 0 || len(pick[Attempt](got)) != 1 {
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -15,7 +15,7 @@
 
 // askFirst takes a start, which may be all instances', for the end of a watch.
 func (b *Balancer) askFirst() {
-	if b.set.Instances > 1 && !b.set.AskNow {
+	if b.set.Instances > 1 && !b.set.SubscribeImmediately {
 		b.subscribed = true
 		b.listUpdate(ListUpdate{Kind: ListFailed})
 	}
@@ -23,8 +23,8 @@
 }
 
 func (b *Balancer) askList() {
-	if b.set.ListAsked && !b.subscribed && b.now >= b.askAt {
-		b.askAt = b.now + max(b.set.AskWithin, time.Second) // should the answer never come
+	if b.set.SubscribeRequired && !b.subscribed && b.now >= b.askAt {
+		b.askAt = b.now + max(b.set.SubscribeTimeout, time.Second) // should the answer never come
 		b.do(Subscribe{})
 	}
 }
@@ -89,7 +89,7 @@
 		s.asked.span, s.failed.span = evidence, evidence
 		b.servers[e.ID] = s
 	}
-	if e.Started > s.Started { // another process: what is known is the old one's
+	if e.StartedAt > s.StartedAt { // another process: what is known is the old one's
 		s.load, s.each, s.probing = -1, 0, false
 		s.placed.sum, s.faults.sum, s.sent.sum = 0, 0, 0
 		s.asked.sum, s.failed.sum, s.used, s.tokens = 0, 0, 0, 0
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -11,7 +11,7 @@
 	for _, instances := range []int{3, 300} {
 		for _, within := range []time.Duration{20 * ms, 10 * time.Second, time.Hour} {
 			set := settings()
-			set.ListAsked, set.Instances, set.AskWithin = true, instances, within
+			set.SubscribeRequired, set.Instances, set.SubscribeTimeout = true, instances, within
 			d := newBench(t, set, "a")
 			d.run(d.now + 2*time.Second)
 			for i := range 8 {
@@ -29,25 +29,25 @@
 
 func TestSubscription(t *testing.T) {
 	set := settings()
-	set.ListAsked, set.Instances = true, 50
+	set.SubscribeRequired, set.Instances = true, 50
 	d := newBench(t, set, "a")
-	if got := pick[Subscribe](d.run(d.now + set.AskWithin)); len(got) != 1 {
+	if got := pick[Subscribe](d.run(d.now + set.SubscribeTimeout)); len(got) != 1 {
 		t.Fatalf("%d calls within the time allowed, want 1", len(got))
 	}
 	last := d.now
 	for i := range 8 { // every call fails
 		d.list(ListFailed)
 		var got []Subscribe
-		for len(got) == 0 && d.now < last+4*set.AskWithin {
+		for len(got) == 0 && d.now < last+4*set.SubscribeTimeout {
 			got = pick[Subscribe](d.run(d.now + 100*ms))
 		}
-		if gap := d.now - last; len(got) != 1 || gap > set.AskWithin {
-			t.Errorf("call %d came after %v, want within %v", i, gap, set.AskWithin)
+		if gap := d.now - last; len(got) != 1 || gap > set.SubscribeTimeout {
+			t.Errorf("call %d came after %v, want within %v", i, gap, set.SubscribeTimeout)
 		}
 		last = d.now
 	}
 	d.list(ListDelta)
-	if got := pick[Subscribe](d.run(d.now + 5*set.AskWithin)); len(got) != 0 {
+	if got := pick[Subscribe](d.run(d.now + 5*set.SubscribeTimeout)); len(got) != 0 {
 		t.Errorf("%d calls while subscribed", len(got))
 	}
 }
--- a/balance/events.go
+++ b/balance/events.go
@@ -10,15 +10,15 @@
 import "time"
 
 // Load is a server's load report. A field that was not reported is negative.
-type Load struct {
-	X0       float64 // load asked over what the server can do
-	Util     float64 // share of its cores in use
-	Inflight float64 // requests or connections held
-	Latency  float64 // recent service time, milliseconds
+type LoadReport struct {
+	Utilization    float64 // load asked over what the server can do
+	CPUUtilization float64 // share of its cores in use
+	Inflight       float64 // requests or connections held
+	LatencyMillis  float64 // recent service time, milliseconds
 }
 
 // NoLoad is a report without any field.
-var NoLoad = Load{X0: -1, Util: -1, Inflight: -1, Latency: -1}
+var EmptyLoadReport = LoadReport{Utilization: -1, CPUUtilization: -1, Inflight: -1, LatencyMillis: -1}
 
 // ServerState is what the server list says of a server.
 type ServerState int
@@ -32,11 +32,11 @@
 
 // ServerEntry is one server in a list.
 type ServerEntry struct {
-	ID      string
-	Zone    string
-	Cell    int // servers of one cell share what keys they have seen
-	State   ServerState
-	Started time.Duration // when its process last started; 0 means long ago
+	ID        string
+	Zone      string
+	Cell      int // servers of one cell share what keys they have seen
+	State     ServerState
+	StartedAt time.Duration // when its process last started; 0 means long ago
 }
 
 // Outcome is how an attempt or a probe ended.
@@ -46,12 +46,12 @@
 const (
 	OK Outcome = iota
 	Errored
-	Full
+	AtCapacity
 	TimedOut
 	ConnectFailed
 	Reset
 	Cancelled
-	Moot
+	NotSent
 )
 
 // Event is something that has happened to this instance.
@@ -76,41 +76,41 @@
 
 // Request is a new connection that wants a server. It is owed one final answer.
 type Request struct {
-	ID       string
-	Class    string
-	Group    string // the connection's group; empty if none
-	Hint     float64
-	Returned bool // the client comes again after a break or a move
-	Retry    bool // the client flags it as its own repeat
-	Deadline time.Duration
-	Bound    *Bound // nil for none; not changed afterwards
+	ID           string
+	Class        string
+	Group        string // the connection's group; empty if none
+	LoadHint     float64
+	Reconnecting bool // the client comes again after a break or a move
+	ClientRetry  bool // the client flags it as its own repeat
+	Deadline     time.Duration
+	Constraint   *ZoneConstraint // nil for none; not changed afterwards
 }
 
 // Bound says where a request may be drawn. A share is the part of the draws of a zone that
 // is kept: 1 all, 0 none, and then it is never sent there. What is below 0 or no number
 // counts as 0, what is above 1 as 1.
-type Bound struct {
-	Name  string     `json:"Name"` // what set it, for people
-	Zones []ZonePart `json:"Zones"`
-	Rest  float64    `json:"Rest"` // of zones not named
+type ZoneConstraint struct {
+	Name         string      `json:"Name"` // what set it, for people
+	Zones        []ZoneShare `json:"Zones"`
+	DefaultShare float64     `json:"Rest"` // of zones not named
 }
 
 // ZonePart is a zone's share.
-type ZonePart struct {
+type ZoneShare struct {
 	Zone  string  `json:"Zone"`
 	Share float64 `json:"Share"`
 }
 
 // OpenConn is a connection that already runs through this instance at its
 // start. Attempt 0 counts as made.
-type OpenConn struct {
+type OpenConnection struct {
 	Request
 	Server string
 }
 
 // Started says that a connection stands. A Latency of 0 is that of one for which nobody
 // was asked, and speaks for no server.
-type Started struct {
+type ConnectionEstablished struct {
 	ID      string
 	Attempt int
 	Server  string
@@ -120,13 +120,13 @@
 // AttemptEnded reports how an attempt ended. Final means that the request is
 // over with it; otherwise this instance still owes the answer.
 type AttemptEnded struct {
-	ID      string
-	Attempt int
-	Server  string
-	Outcome Outcome
-	Latency time.Duration
-	Final   bool
-	Load    Load
+	ID         string
+	Attempt    int
+	Server     string
+	Outcome    Outcome
+	Latency    time.Duration
+	Final      bool
+	LoadReport LoadReport
 }
 
 // ClientGone says that the client has left; no answer is owed any more.
@@ -136,25 +136,25 @@
 type TimerFired struct{ Token uint64 }
 
 // ProbeAnswer answers a Probe.
-type ProbeAnswer struct {
-	Server  string
-	Outcome Outcome
-	Latency time.Duration
-	Load    Load
+type ProbeResult struct {
+	Server     string
+	Outcome    Outcome
+	Latency    time.Duration
+	LoadReport LoadReport
 }
 
 // Retuned brings other settings, which Settings.Check has passed. What is under way
 // keeps its class.
-type Retuned struct{ Settings }
-
-func (Granted) event()      {}
-func (ListUpdate) event()   {}
-func (Learned) event()      {}
-func (Retuned) event()      {}
-func (Request) event()      {}
-func (OpenConn) event()     {}
-func (Started) event()      {}
-func (AttemptEnded) event() {}
-func (ClientGone) event()   {}
-func (TimerFired) event()   {}
-func (ProbeAnswer) event()  {}
+type SettingsChanged struct{ Settings }
+
+func (QuotaLease) event()            {}
+func (ListUpdate) event()            {}
+func (InheritedState) event()        {}
+func (SettingsChanged) event()       {}
+func (Request) event()               {}
+func (OpenConnection) event()        {}
+func (ConnectionEstablished) event() {}
+func (AttemptEnded) event()          {}
+func (ClientGone) event()            {}
+func (TimerFired) event()            {}
+func (ProbeResult) event()           {}
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -13,11 +13,11 @@
 	b, err := balance.New(1, balance.Settings{
 		Instances: 1,
 		Tick:      time.Millisecond,
-		Classes: []balance.Class{{Name: "chat", Aim: 400 * time.Millisecond, Deadline: 2 * time.Second,
-			MessageAim: 100 * time.Millisecond}},
-		Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
-		Limits:  balance.Limits{Probes: true, MaxAttempts: 3},
-		Reports: balance.Reports{ByProbe: true},
+		Classes: []balance.Class{{Name: "chat", LatencyObjective: 400 * time.Millisecond, Deadline: 2 * time.Second,
+			MessageLatencyObjective: 100 * time.Millisecond}},
+		Rules:         balance.Rules{DrainGrace: time.Second, SlowStartWindow: 20 * time.Second, InitialCapacity: 0.2, OverloadMultiple: 3, OverloadDuration: time.Second},
+		Limits:        balance.Limits{ProbesAllowed: true, MaxAttempts: 3},
+		LoadReporting: balance.LoadReporting{InProbeResults: true},
 	})
 	if err != nil {
 		fmt.Println(err)
@@ -35,11 +35,11 @@
 			}
 		}
 	}
-	report := balance.NoLoad
-	report.X0 = 0.1
+	report := balance.EmptyLoadReport
+	report.Utilization = 0.1
 	tell(0, balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{{ID: "s1"}}})
 	tell(10*time.Millisecond, balance.Request{ID: "c1", Class: "chat", Deadline: 2 * time.Second})
-	tell(11*time.Millisecond, balance.ProbeAnswer{Server: "s1", Outcome: balance.OK, Latency: time.Millisecond, Load: report})
+	tell(11*time.Millisecond, balance.ProbeResult{Server: "s1", Outcome: balance.OK, Latency: time.Millisecond, LoadReport: report})
 	// Output:
 	// probe s1
 	// connect c1 to s1
--- a/balance/granted.go
+++ b/balance/granted.go
@@ -15,77 +15,77 @@
 
 // Granted is what the whole fleet lets this instance spend, where instances share their
 // budgets: in place of what it would reckon by itself, for as long as For says.
-type Granted struct {
-	Half    int64         `json:"Half"`    // the period that the tokens are for; never falls
-	Until   time.Duration `json:"Until"`   // they are void from then on
-	For     time.Duration `json:"For"`     // from now: then it is on its own again
-	Servers []Grant       `json:"Servers"` // cold servers; those not named have no tokens
-	Retries float64       `json:"Retries"` // attempts beyond a request's first that may be made now
-	Shunned []string      `json:"Shunned"` // servers that enough instances have seen fail
-	Zones   []ZoneGrant   `json:"Zones"`   // those not named are not bounded
-	Over    float64       `json:"Over"`    // share of first arrivals to be refused at once: the fleet can't carry them
+type QuotaLease struct {
+	Period         int64         `json:"Half"`    // the period that the tokens are for; never falls
+	TokensExpireAt time.Duration `json:"Until"`   // they are void from then on
+	LeaseDuration  time.Duration `json:"For"`     // from now: then it is on its own again
+	Servers        []ServerQuota `json:"Servers"` // cold servers; those not named have no tokens
+	RetryBudget    float64       `json:"Retries"` // attempts beyond a request's first that may be made now
+	EjectedServers []string      `json:"Shunned"` // servers that enough instances have seen fail
+	Zones          []ZoneQuota   `json:"Zones"`   // those not named are not bounded
+	ShedFraction   float64       `json:"Over"`    // share of first arrivals to be refused at once: the fleet can't carry them
 }
 
 // ZoneGrant bounds what this instance sends a zone. What stands there stays.
-type ZoneGrant struct {
+type ZoneQuota struct {
 	Zone   string  `json:"Zone"`
 	Share  float64 `json:"Share"`  // of its draws that is kept, 0 to 1, as in a Bound
 	Tokens int     `json:"Tokens"` // attempts in this half; negative for no bound
 }
 
 // Grant is how many attempts at a cold server this instance may make.
-type Grant struct {
-	ID      string        `json:"ID"`
-	Started time.Duration `json:"Started"`
-	Tokens  int           `json:"Tokens"`
+type ServerQuota struct {
+	ID        string        `json:"ID"`
+	StartedAt time.Duration `json:"Started"`
+	Tokens    int           `json:"Tokens"`
 }
 
 // Spending is what an instance tells its peers.
-type Spending struct {
-	Half    int64       `json:"Half"`    // that Used is about
-	Firsts  float64     `json:"Firsts"`  // first arrivals sent of late
-	Retries float64     `json:"Retries"` // attempts beyond the first, of late
-	Servers []Spent     `json:"Servers"`
-	Zones   []ZoneSpent `json:"Zones"` // those with tokens
+type QuotaUsage struct {
+	Period        int64         `json:"Half"`    // that Used is about
+	FirstAttempts float64       `json:"Firsts"`  // first arrivals sent of late
+	Retries       float64       `json:"Retries"` // attempts beyond the first, of late
+	Servers       []ServerUsage `json:"Servers"`
+	Zones         []ZoneUsage   `json:"Zones"` // those with tokens
 }
 
 // ZoneSpent is how many attempts into a zone there were in the half.
-type ZoneSpent struct {
+type ZoneUsage struct {
 	Zone string `json:"Zone"`
 	Used int    `json:"Used"`
 }
 
 // Spent is what an instance tells of one server.
-type Spent struct {
-	ID      string        `json:"ID"`
-	Zone    string        `json:"Zone"`
-	Load    float64       `json:"Load"` // as last reported; -1 if it has not
-	Started time.Duration `json:"Started"`
-	Cold    bool          `json:"Cold"`
-	Part    float64       `json:"Part"`   // of its budget in the time that makes it fall, by this instance's traffic
-	Used    int           `json:"Used"`   // attempts in the half
-	Asked   float64       `json:"Asked"`  // attempts and failed probes of late
-	Failed  float64       `json:"Failed"` // of late, all that failed
+type ServerUsage struct {
+	ID             string        `json:"ID"`
+	Zone           string        `json:"Zone"`
+	Load           float64       `json:"Load"` // as last reported; -1 if it has not
+	StartedAt      time.Duration `json:"Started"`
+	WarmingUp      bool          `json:"Cold"`
+	ColdBudget     float64       `json:"Part"`   // of its budget in the time that makes it fall, by this instance's traffic
+	Used           int           `json:"Used"`   // attempts in the half
+	RecentAttempts float64       `json:"Asked"`  // attempts and failed probes of late
+	RecentFailures float64       `json:"Failed"` // of late, all that failed
 }
 
 // Spending tells what this instance has spent of the fleet's budgets, and what it would
 // take part with in them, for its peers.
-func (b *Balancer) Spending(now time.Duration) Spending {
+func (b *Balancer) QuotaUsage(now time.Duration) QuotaUsage {
 	b.now = max(b.now, now)
-	sp := Spending{Half: b.half, Firsts: b.rate[1].left(b.now), Retries: b.again.left(b.now)}
+	sp := QuotaUsage{Period: b.half, FirstAttempts: b.rate[1].left(b.now), Retries: b.again.left(b.now)}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		x := Spent{ID: id, Zone: s.Zone, Load: s.load, Started: s.Started, Used: s.used,
-			Asked: s.asked.left(b.now), Failed: s.failed.left(b.now)}
+		x := ServerUsage{ID: id, Zone: s.Zone, Load: s.load, StartedAt: s.StartedAt, Used: s.used,
+			RecentAttempts: s.asked.left(b.now), RecentFailures: s.failed.left(b.now)}
 		if w := b.warmth(s); w < 1 && s.slot >= 0 {
-			x.Cold = true
-			x.Part = b.coldRate(w) / float64(len(b.ready)) * s.sent.span.Seconds()
+			x.WarmingUp = true
+			x.ColdBudget = b.coldRate(w) / float64(len(b.ready)) * s.sent.span.Seconds()
 		}
 		sp.Servers = append(sp.Servers, x)
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.zones)) {
 		if z := b.zones[name]; z.tokens >= 0 {
-			sp.Zones = append(sp.Zones, ZoneSpent{Zone: name, Used: z.used})
+			sp.Zones = append(sp.Zones, ZoneUsage{Zone: name, Used: z.used})
 		}
 	}
 	return sp
@@ -97,24 +97,24 @@
 
 // granted takes what the fleet lets this instance spend. Tokens of an earlier half are
 // void; of the same half only what is said of them is news.
-func (b *Balancer) granted(g Granted) {
-	if g.Half < b.half || !(g.Retries >= 0) {
+func (b *Balancer) granted(g QuotaLease) {
+	if g.Period < b.half || !(g.RetryBudget >= 0) {
 		return
 	}
 	for _, s := range b.servers {
 		s.tokens = 0
-		if g.Half > b.half {
+		if g.Period > b.half {
 			s.used = 0
 		}
 	}
 	shut := b.grantZones(g)
-	b.half, b.sharedTo, b.tokensTo, b.retries = g.Half, b.now+g.For, g.Until, g.Retries
+	b.half, b.sharedTo, b.tokensTo, b.retries = g.Period, b.now+g.LeaseDuration, g.TokensExpireAt, g.RetryBudget
 	for _, t := range g.Servers {
-		if s := b.servers[t.ID]; s != nil && s.Started == t.Started {
+		if s := b.servers[t.ID]; s != nil && s.StartedAt == t.StartedAt {
 			s.tokens = max(t.Tokens, 0)
 		}
 	}
-	for _, id := range g.Shunned {
+	for _, id := range g.EjectedServers {
 		if s := b.servers[id]; s != nil {
 			s.faults.add(b.now, max(0, shunned-s.faults.left(b.now)))
 		}
@@ -125,10 +125,10 @@
 }
 
 // grantZones takes what is said of zones, and tells whether one is shut that was not.
-func (b *Balancer) grantZones(g Granted) (shut bool) {
+func (b *Balancer) grantZones(g QuotaLease) (shut bool) {
 	before, bound := b.zones, b.zoned && b.now < b.sharedTo
 	b.zones = make(map[string]*zone, len(before))
-	if g.Half == b.half {
+	if g.Period == b.half {
 		for name, z := range before {
 			b.zone(name).used = z.used
 		}
@@ -139,7 +139,7 @@
 		was := before[t.Zone]
 		shut = shut || z.share == 0 && (!bound || was == nil || was.share > 0)
 	}
-	b.zoned, b.over = len(g.Zones) > 0, clamp(g.Over)
+	b.zoned, b.over = len(g.Zones) > 0, clamp(g.ShedFraction)
 	return shut
 }
 
--- a/balance/granted_test.go
+++ b/balance/granted_test.go
@@ -13,7 +13,7 @@
 	d := newBench(t, set)
 	cold := d.now
 	list := entries("a", "b", "c")
-	d.list(ListFull, append(list, ServerEntry{ID: "new", Started: cold})...)
+	d.list(ListFull, append(list, ServerEntry{ID: "new", StartedAt: cold})...)
 	return d, cold
 }
 
@@ -39,37 +39,37 @@
 	}{
 		{"no word: by this instance's own reckoning", func(*bench, time.Duration) {}, 1, 400},
 		{"three tokens", func(d *bench, cold time.Duration) {
-			d.tell(Granted{Half: 1, Until: d.now + time.Minute, For: time.Minute, Servers: []Grant{{"new", cold, 3}}})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold, 3}}})
 		}, 3, 3},
 		{"none", func(d *bench, _ time.Duration) {
-			d.tell(Granted{Half: 1, Until: d.now + time.Minute, For: time.Minute})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute})
 		}, 0, 0},
 		{"for another process of it", func(d *bench, cold time.Duration) {
-			d.tell(Granted{Half: 1, Until: d.now + time.Minute, For: time.Minute, Servers: []Grant{{"new", cold - 1, 3}}})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold - 1, 3}}})
 		}, 0, 0},
 		{"void by now", func(d *bench, cold time.Duration) {
-			d.tell(Granted{Half: 1, Until: d.now, For: time.Minute, Servers: []Grant{{"new", cold, 3}}})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold, 3}}})
 		}, 0, 0},
 		{"said twice is not more", func(d *bench, cold time.Duration) {
 			for range 2 {
-				d.tell(Granted{Half: 1, Until: d.now + time.Minute, For: time.Minute, Servers: []Grant{{"new", cold, 2}}})
+				d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold, 2}}})
 				d.toCold(60)
 			}
 		}, 0, 0},
 		{"the next half's", func(d *bench, cold time.Duration) {
 			for half := range int64(2) {
-				d.tell(Granted{Half: half, Until: d.now + time.Minute, For: time.Minute, Servers: []Grant{{"new", cold, 2}}})
+				d.tell(QuotaLease{Period: half, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold, 2}}})
 				if half == 0 {
 					d.toCold(60)
 				}
 			}
 		}, 2, 2},
 		{"an older half's come late", func(d *bench, cold time.Duration) {
-			d.tell(Granted{Half: 2, Until: d.now + time.Minute, For: time.Minute})
-			d.tell(Granted{Half: 1, Until: d.now + time.Minute, For: time.Minute, Servers: []Grant{{"new", cold, 9}}})
+			d.tell(QuotaLease{Period: 2, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now + time.Minute, LeaseDuration: time.Minute, Servers: []ServerQuota{{"new", cold, 9}}})
 		}, 0, 0},
 		{"the agent is gone: by its own again", func(d *bench, _ time.Duration) {
-			d.tell(Granted{Half: 1, Until: d.now, For: 5 * ms})
+			d.tell(QuotaLease{Period: 1, TokensExpireAt: d.now, LeaseDuration: 5 * ms})
 			d.now += 5 * ms
 		}, 1, 400},
 	} {
@@ -87,15 +87,15 @@
 		want    int // attempts
 	}{{0, 1}, {0.9, 1}, {1, 2}, {2, 3}} {
 		d := newBench(t, settings(), "a", "b", "c", "d")
-		d.tell(Granted{Half: 1, For: time.Minute, Retries: tt.retries})
+		d.tell(QuotaLease{Period: 1, LeaseDuration: time.Minute, RetryBudget: tt.retries})
 		_, at := drawsUntilPlaced(d, "r", map[string]float64{})
 		attempts, refused := 1, 0
 		for refused == 0 && attempts < 4 {
-			actions := d.tell(AttemptEnded{ID: "r", Attempt: attempts - 1, Server: at, Outcome: Full, Load: NoLoad})
+			actions := d.tell(AttemptEnded{ID: "r", Attempt: attempts - 1, Server: at, Outcome: AtCapacity, LoadReport: EmptyLoadReport})
 			for len(pick[Probe](actions)) > 0 {
 				actions = d.answer(pick[Probe](actions)[0].Server, 0)
 			}
-			refused = len(pick[Refuse](actions))
+			refused = len(pick[Reject](actions))
 			for _, a := range pick[Attempt](actions) {
 				attempts, at = attempts+1, a.Server
 			}
@@ -113,19 +113,19 @@
 // would pass its peers' word on as its own for good.
 func TestVerdictsAreNotPassedOn(t *testing.T) {
 	d := newBench(t, settings(), "a", "b", "c", "d")
-	d.tell(Granted{Half: 1, For: time.Minute, Shunned: []string{"b", "nobody"}})
-	if n := d.b.Avoided(); n != 1 {
+	d.tell(QuotaLease{Period: 1, LeaseDuration: time.Minute, EjectedServers: []string{"b", "nobody"}})
+	if n := d.b.AvoidedServers(); n != 1 {
 		t.Errorf("%d servers avoided, want the shunned one", n)
 	}
-	for _, s := range d.b.Spending(d.now).Servers {
-		if s.Failed != 0 {
-			t.Errorf("%s: %.1f failures of its own are told, want none", s.ID, s.Failed)
+	for _, s := range d.b.QuotaUsage(d.now).Servers {
+		if s.RecentFailures != 0 {
+			t.Errorf("%s: %.1f failures of its own are told, want none", s.ID, s.RecentFailures)
 		}
 	}
 	d.b.fault(d.b.servers["c"])
-	for _, s := range d.b.Spending(d.now).Servers {
-		if (s.Failed > 0) != (s.ID == "c") {
-			t.Errorf("%s: %.1f failures told", s.ID, s.Failed)
+	for _, s := range d.b.QuotaUsage(d.now).Servers {
+		if (s.RecentFailures > 0) != (s.ID == "c") {
+			t.Errorf("%s: %.1f failures told", s.ID, s.RecentFailures)
 		}
 	}
 }
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -16,7 +16,7 @@
 
 // New returns a Balancer for the given settings, which it checks.
 func New(seed uint64, set Settings) (*Balancer, error) {
-	if err := set.Check(); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
@@ -42,9 +42,9 @@
 		b.listUpdate(e)
 	case Request:
 		b.arrive(e)
-	case OpenConn:
+	case OpenConnection:
 		b.adopt(e)
-	case Started:
+	case ConnectionEstablished:
 		b.stands(e)
 	case AttemptEnded:
 		b.ended(e)
@@ -57,13 +57,13 @@
 		}
 	case TimerFired:
 		b.timer(e.Token)
-	case ProbeAnswer:
+	case ProbeResult:
 		b.probed(e)
-	case Learned:
-		b.learn(e.Memory)
-	case Granted:
+	case InheritedState:
+		b.learn(e.LearnedState)
+	case QuotaLease:
 		b.granted(e)
-	case Retuned:
+	case SettingsChanged:
 		b.tune(e.Settings)
 		b.giveUpHopeless()
 	}
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -10,14 +10,14 @@
 // settings returns settings that tests change to their need.
 func settings() Settings {
 	return Settings{
-		Instances: 1,
-		Tick:      ms,
-		Classes:   []Class{{Name: "c", Aim: 400 * ms, Deadline: 2 * time.Second, MessageAim: 100 * ms}},
-		AskWithin: 10 * time.Second,
-		Rules: Rules{AnswerGrace: 5 * ms, DrainGrace: time.Second, ColdShare: 0.2, Ramp: 20 * time.Second,
-			FallMultiple: 3, FallAfter: time.Second},
-		Limits:  Limits{Probes: true, RetryAfter: true, MaxAttempts: 3, MaxRetryAfter: time.Second},
-		Reports: Reports{ByProbe: true},
+		Instances:        1,
+		Tick:             ms,
+		Classes:          []Class{{Name: "c", LatencyObjective: 400 * ms, Deadline: 2 * time.Second, MessageLatencyObjective: 100 * ms}},
+		SubscribeTimeout: 10 * time.Second,
+		Rules: Rules{AnswerGrace: 5 * ms, DrainGrace: time.Second, InitialCapacity: 0.2, SlowStartWindow: 20 * time.Second,
+			OverloadMultiple: 3, OverloadDuration: time.Second},
+		Limits:        Limits{ProbesAllowed: true, SendRetryAfter: true, MaxAttempts: 3, MaxRetryAfter: time.Second},
+		LoadReporting: LoadReporting{InProbeResults: true},
 	}
 }
 
@@ -75,9 +75,9 @@
 }
 
 func (d *bench) answer(server string, x0 float64) []Action {
-	l := NoLoad
-	l.X0 = x0
-	return d.tell(ProbeAnswer{Server: server, Outcome: OK, Latency: ms, Load: l})
+	l := EmptyLoadReport
+	l.Utilization = x0
+	return d.tell(ProbeResult{Server: server, Outcome: OK, Latency: ms, LoadReport: l})
 }
 
 // run lets time pass, firing timers in order, and returns the actions.
@@ -129,8 +129,8 @@
 	}
 }
 
-func report(x0, inflight float64) Load {
-	l := NoLoad
-	l.X0, l.Inflight = x0, inflight
+func report(x0, inflight float64) LoadReport {
+	l := EmptyLoadReport
+	l.Utilization, l.Inflight = x0, inflight
 	return l
 }
--- a/balance/leaver_test.go
+++ b/balance/leaver_test.go
@@ -14,7 +14,7 @@
 		d := newBench(t, settings(), "a", "b", "c")
 		loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 		drawsUntilPlaced(d, "stays", loads)
-		d.tell(Started{ID: "stays", Server: "a", Latency: ms})
+		d.tell(ConnectionEstablished{ID: "stays", Server: "a", Latency: ms})
 		before := d.b.busy
 		for i := range 60 {
 			id := fmt.Sprint("r", i)
@@ -49,15 +49,15 @@
 // A repeat of what may have run is out no longer than its window is open: in a dial that
 // takes long it would be sent when nobody drops it any more.
 func TestRepeatEndsWithItsWindow(t *testing.T) {
-	for _, effect := range []Effect{Safe, Keyed} {
+	for _, effect := range []Idempotency{Idempotent, IdempotencyKeyed} {
 		set := settings()
-		set.Classes[0].Effect, set.Classes[0].Window = effect, 300*ms
+		set.Classes[0].Idempotency, set.Classes[0].KeyWindow = effect, 300*ms
 		d := newBench(t, set, "a", "b", "c")
 		loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 		begun := d.now
 		_, at := drawsUntilPlaced(d, "r", loads)
 		d.run(d.now + 120*ms)
-		actions := d.tell(AttemptEnded{ID: "r", Server: at, Outcome: Errored, Load: NoLoad})
+		actions := d.tell(AttemptEnded{ID: "r", Server: at, Outcome: Errored, LoadReport: EmptyLoadReport})
 		for len(pick[Probe](actions)) > 0 {
 			actions = d.answer(pick[Probe](actions)[0].Server, 0.1)
 		}
@@ -66,7 +66,7 @@
 			t.Fatalf("effect %d: %v", effect, actions)
 		}
 		want := time.Duration(0)
-		if effect == Keyed {
+		if effect == IdempotencyKeyed {
 			want = begun + 300*ms - d.now
 		}
 		if sent[0].Timeout != want {
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -17,38 +17,38 @@
 	for i := range 12 {
 		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
 	}
-	d.tell(ProbeAnswer{Server: "b", Outcome: TimedOut, Load: NoLoad})
-	d.tell(ProbeAnswer{Server: "b", Outcome: TimedOut, Load: NoLoad})
-	m := d.b.Recall(d.now)
-	next := func(m Memory) *bench {
+	d.tell(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
+	d.tell(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
+	m := d.b.LearnedState(d.now)
+	next := func(m LearnedState) *bench {
 		n := newBench(t, set, "a", "b", "c")
 		n.now = d.now
-		n.tell(ListUpdate{Entries: []ServerEntry{{ID: "c", Started: n.now}}})
-		n.tell(Learned{m})
+		n.tell(ListUpdate{Entries: []ServerEntry{{ID: "c", StartedAt: n.now}}})
+		n.tell(InheritedState{m})
 		return n
 	}
 	n := next(m)
-	if n.b.Avoided() != 1 || n.b.usual != d.b.usual || n.b.rtt != d.b.rtt {
-		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.Avoided(), n.b.usual, n.b.rtt, d.b.usual, d.b.rtt)
+	if n.b.AvoidedServers() != 1 || n.b.usual != d.b.usual || n.b.rtt != d.b.rtt {
+		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.AvoidedServers(), n.b.usual, n.b.rtt, d.b.usual, d.b.rtt)
 	}
 	sent := func(b *Balancer, id string) float64 { return b.servers[id].sent.left(n.now) }
 	if sent(n.b, "a") == 0 || sent(n.b, "a") != sent(d.b, "a") || sent(n.b, "c") != 0 {
 		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.b, "a"), sent(d.b, "a"), sent(n.b, "c"))
 	}
-	n.tell(Learned{m}) // a third process was beside these
-	if sent(n.b, "a") != 2*sent(d.b, "a") || n.b.Avoided() != 1 {
-		t.Errorf("what two have sent: %v, %d avoided", sent(n.b, "a"), n.b.Avoided())
+	n.tell(InheritedState{m}) // a third process was beside these
+	if sent(n.b, "a") != 2*sent(d.b, "a") || n.b.AvoidedServers() != 1 {
+		t.Errorf("what two have sent: %v, %d avoided", sent(n.b, "a"), n.b.AvoidedServers())
 	}
-	for name, change := range map[string]func(m *Memory){
-		"no number":     func(m *Memory) { m.Usual = math.NaN() },
-		"endless":       func(m *Memory) { m.Late = math.Inf(1) },
-		"negative":      func(m *Memory) { m.Servers[1].Sent = -1 },
-		"not yet there": func(m *Memory) { m.Age = -1 },
+	for name, change := range map[string]func(m *LearnedState){
+		"no number":     func(m *LearnedState) { m.MeanLoad = math.NaN() },
+		"endless":       func(m *LearnedState) { m.RecentPlacements = math.Inf(1) },
+		"negative":      func(m *LearnedState) { m.Servers[1].RecentAttempts = -1 },
+		"not yet there": func(m *LearnedState) { m.Age = -1 },
 	} {
 		bad := m
 		bad.Servers = slices.Clone(m.Servers)
 		change(&bad)
-		if n := next(bad); sent(n.b, "a") != 0 || n.b.usual != 0 || n.b.Avoided() != 0 {
+		if n := next(bad); sent(n.b, "a") != 0 || n.b.usual != 0 || n.b.AvoidedServers() != 0 {
 			t.Errorf("%s: part of it was taken", name)
 		}
 	}
@@ -59,12 +59,12 @@
 func TestRetuned(t *testing.T) {
 	set := settings()
 	set.Limits.MaxAttempts = 4
-	set.Classes = []Class{{Name: "c", Aim: 300 * ms, Deadline: time.Second}}
+	set.Classes = []Class{{Name: "c", LatencyObjective: 300 * ms, Deadline: time.Second}}
 	d := newBench(t, set, "a", "b", "c", "d")
 	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}
 	fail := func(id string, n int, o Outcome) []Action {
 		r := d.b.requests[id]
-		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.at.ID, Outcome: o, Load: NoLoad})
+		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.at.ID, Outcome: o, LoadReport: EmptyLoadReport})
 	}
 	retry := func(id string, actions []Action) {
 		t.Helper()
@@ -73,24 +73,24 @@
 			if len(p) == 0 {
 				t.Fatalf("%s: %v", id, actions)
 			}
-			actions = d.tell(ProbeAnswer{Server: p[0].Server, Outcome: OK, Latency: ms, Load: report(0.1, 5)})
+			actions = d.tell(ProbeResult{Server: p[0].Server, Outcome: OK, Latency: ms, LoadReport: report(0.1, 5)})
 		}
 	}
 	drawsUntilPlaced(d, "old", loads)
 	drawsUntilPlaced(d, "waits", loads)
 	retry("old", fail("old", 0, Errored))
-	waits := fail("waits", 0, Full) // draws again, and waits for a probe
+	waits := fail("waits", 0, AtCapacity) // draws again, and waits for a probe
 	if len(pick[Probe](waits)) == 0 {
 		t.Fatalf("%v", waits)
 	}
 
 	next := set
 	next.Limits.MaxAttempts = 1
-	next.Classes = []Class{{Name: "c", Aim: 300 * ms, Deadline: time.Second, Effect: Unsafe}, {Name: "new", Aim: 300 * ms, Deadline: time.Second}}
-	if got := pick[Refuse](d.tell(Retuned{next})); len(got) != 1 || got[0].ID != "waits" {
+	next.Classes = []Class{{Name: "c", LatencyObjective: 300 * ms, Deadline: time.Second, Idempotency: NonIdempotent}, {Name: "new", LatencyObjective: 300 * ms, Deadline: time.Second}}
+	if got := pick[Reject](d.tell(SettingsChanged{next})); len(got) != 1 || got[0].ID != "waits" {
 		t.Errorf("of those that have made as many as are allowed now, refused: %v", got)
 	}
-	if got := fail("old", 1, Errored); len(pick[Refuse](got)) != 1 {
+	if got := fail("old", 1, Errored); len(pick[Reject](got)) != 1 {
 		t.Errorf("an old request, whose repeats do no harm: %v", got)
 	}
 	drawsUntilPlaced(d, "later", loads)
@@ -98,9 +98,9 @@
 		t.Errorf("a request of the stricter class: %v", got)
 	}
 	next.Limits.MaxAttempts = 2
-	d.tell(Retuned{next})
+	d.tell(SettingsChanged{next})
 	drawsUntilPlaced(d, "again", loads)
-	retry("again", fail("again", 0, Full))
+	retry("again", fail("again", 0, AtCapacity))
 	if d.b.classes["new"] == nil || len(d.b.classes) != 2 {
 		t.Errorf("classes %v", d.b.classes)
 	}
@@ -110,8 +110,8 @@
 	for name, spoil := range map[string]func(*Settings){
 		"no classes":     func(s *Settings) { s.Classes = nil },
 		"negative grace": func(s *Settings) { s.Rules.DrainGrace = -1 },
-		"cold share":     func(s *Settings) { s.Rules.ColdShare = 2 },
-		"effect":         func(s *Settings) { s.Classes[0].Effect = 9 },
+		"cold share":     func(s *Settings) { s.Rules.InitialCapacity = 2 },
+		"effect":         func(s *Settings) { s.Classes[0].Idempotency = 9 },
 	} {
 		set := settings()
 		spoil(&set)
@@ -142,7 +142,7 @@
 		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
 		d.now += 100 * ms
 	}
-	failed := ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad}
+	failed := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
 	d.tell(failed)
 	d.now -= 2 * time.Hour
 	d.tell(failed)
@@ -164,7 +164,7 @@
 func TestSilenceOfHours(t *testing.T) {
 	d := newBench(t, settings())
 	for round := range 3 {
-		d.list(ListFull, ServerEntry{ID: "a", Started: d.now}, ServerEntry{ID: "b", Started: d.now})
+		d.list(ListFull, ServerEntry{ID: "a", StartedAt: d.now}, ServerEntry{ID: "b", StartedAt: d.now})
 		placed := 0
 		follow := func(actions []Action) {
 			for len(actions) > 0 {
@@ -174,14 +174,14 @@
 				}
 				for _, a := range pick[Attempt](actions) { // it does not last
 					placed++
-					next = append(next, d.tell(Started{ID: a.ID, Server: a.Server})...)
-					next = append(next, d.tell(AttemptEnded{ID: a.ID, Server: a.Server, Outcome: OK, Final: true, Load: NoLoad})...)
+					next = append(next, d.tell(ConnectionEstablished{ID: a.ID, Server: a.Server})...)
+					next = append(next, d.tell(AttemptEnded{ID: a.ID, Server: a.Server, Outcome: OK, Final: true, LoadReport: EmptyLoadReport})...)
 				}
 				actions = next
 			}
 		}
 		for i := range 40 {
-			follow(d.tell(Request{ID: fmt.Sprint(round, " ", i), Class: "c", Returned: true, Deadline: d.now + 2*time.Second}))
+			follow(d.tell(Request{ID: fmt.Sprint(round, " ", i), Class: "c", Reconnecting: true, Deadline: d.now + 2*time.Second}))
 			for range 50 {
 				follow(d.run(d.now + 10*ms))
 			}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -23,7 +23,7 @@
 	r.at, r.wake, r.since = s, never, b.now
 	r.attempts++
 	b.rate[0].add(b.now, 1)
-	if r.attempts == 1 && !r.Returned && !r.Retry {
+	if r.attempts == 1 && !r.Reconnecting && !r.ClientRetry {
 		b.rate[1].add(b.now, 1)
 	} else if r.attempts > 1 {
 		b.again.add(b.now, 1)
@@ -41,13 +41,13 @@
 		b.zone(s.Zone).used++
 	}
 	var within time.Duration // a repeat sent when its window is over would run twice
-	if r.ran != nil && r.class.Effect == Keyed {
-		within = r.ranAt + r.class.Window - b.now
+	if r.ran != nil && r.class.Idempotency == IdempotencyKeyed {
+		within = r.ranAt + r.class.KeyWindow - b.now
 	}
 	b.do(Attempt{ID: r.ID, Server: s.ID, Timeout: within})
 }
 
-func (b *Balancer) stands(e Started) {
+func (b *Balancer) stands(e ConnectionEstablished) {
 	if r := b.requests[e.ID]; r != nil && r.at != nil && r.phase == sent {
 		if e.Latency > 0 {
 			r.at.faults.sum /= 2
@@ -59,9 +59,9 @@
 
 func (b *Balancer) ended(e AttemptEnded) {
 	r := b.requests[e.ID]
-	if b.set.Reports.WithAnswers {
+	if b.set.LoadReporting.InOutcomes {
 		if s := b.servers[e.Server]; s != nil {
-			b.report(s, e.Load)
+			b.report(s, e.LoadReport)
 		}
 	}
 	if r == nil {
@@ -72,7 +72,7 @@
 	}
 	if r.phase == sent && r.at != nil {
 		switch e.Outcome {
-		case Errored, ConnectFailed, Full, TimedOut, Reset:
+		case Errored, ConnectFailed, AtCapacity, TimedOut, Reset:
 			b.fault(r.at)
 			b.failing += (1 - b.failing) / 8
 			if b.failing > 0.5 {
@@ -102,12 +102,12 @@
 func (b *Balancer) failed(r *request, o Outcome) {
 	s, again := r.takeBack(b.now), true
 	switch o {
-	case Full, ConnectFailed, Moot:
+	case AtCapacity, ConnectFailed, NotSent:
 	default:
 		if r.ran == nil { // the first that may have run, and the earliest that it can have
 			r.ran, r.ranAt = s, r.since
 		}
-		again = o == Errored && r.class.Effect != Unsafe
+		again = o == Errored && r.class.Idempotency != NonIdempotent
 	}
 	if !again || b.now < b.sharedTo && b.retries < 1 { // the fleet's budget of them is spent
 		b.finish(r)
@@ -128,13 +128,13 @@
 // have run already: keyed requests only where repeats are dropped and only
 // while they are, unsafe ones nowhere.
 func (b *Balancer) mayRepeat(r *request, s *server) bool {
-	if r.ran == nil || r.class.Effect == Safe {
+	if r.ran == nil || r.class.Idempotency == Idempotent {
 		return true
 	}
-	if r.class.Effect == Unsafe || b.now-r.ranAt >= r.class.Window {
+	if r.class.Idempotency == NonIdempotent || b.now-r.ranAt >= r.class.KeyWindow {
 		return false
 	}
-	switch r.class.Scope {
+	switch r.class.KeyScope {
 	case ScopeZone:
 		return s.Zone == r.ran.Zone
 	case ScopeCell:
@@ -146,14 +146,14 @@
 // finish answers r for good: refused where trying again is surely harmless,
 // else failed.
 func (b *Balancer) finish(r *request) {
-	harmless := r.ran == nil || r.class.Effect == Safe ||
-		r.class.Effect == Keyed && r.class.Scope == ScopeAll
+	harmless := r.ran == nil || r.class.Idempotency == Idempotent ||
+		r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope == ScopeAll
 	if harmless {
 		var pause time.Duration
-		if b.set.Limits.RetryAfter {
+		if b.set.Limits.SendRetryAfter {
 			pause = b.jitter(min(b.set.Limits.MaxRetryAfter/2, r.class.Deadline/3), 0.5)
 		}
-		b.do(Refuse{ID: r.ID, Pause: pause})
+		b.do(Reject{ID: r.ID, RetryAfter: pause})
 	} else {
 		b.do(Fail{ID: r.ID})
 	}
--- a/balance/placement_test.go
+++ b/balance/placement_test.go
@@ -9,33 +9,33 @@
 func TestAfterAnAttempt(t *testing.T) {
 	tests := []struct {
 		name   string
-		effect Effect
-		scope  Scope
+		effect Idempotency
+		scope  KeyScope
 		ended  Outcome
 		want   string // "again", "refused", "failed"
 	}{
-		{"full", Safe, ScopeAll, Full, "again"},
-		{"connect failed", Unsafe, ScopeAll, ConnectFailed, "again"},
-		{"never sent", Keyed, ScopeCell, Moot, "again"},
-		{"error, safe", Safe, ScopeAll, Errored, "again"},
-		{"error, keyed for all", Keyed, ScopeAll, Errored, "again"},
-		{"error, unsafe", Unsafe, ScopeAll, Errored, "failed"},
-		{"reset, safe", Safe, ScopeAll, Reset, "refused"},
-		{"reset, keyed for all", Keyed, ScopeAll, Reset, "refused"},
-		{"reset, keyed for a zone", Keyed, ScopeZone, Reset, "failed"},
-		{"time-out, safe", Safe, ScopeAll, TimedOut, "refused"},
-		{"time-out, unsafe", Unsafe, ScopeAll, TimedOut, "failed"},
+		{"full", Idempotent, ScopeAll, AtCapacity, "again"},
+		{"connect failed", NonIdempotent, ScopeAll, ConnectFailed, "again"},
+		{"never sent", IdempotencyKeyed, ScopeCell, NotSent, "again"},
+		{"error, safe", Idempotent, ScopeAll, Errored, "again"},
+		{"error, keyed for all", IdempotencyKeyed, ScopeAll, Errored, "again"},
+		{"error, unsafe", NonIdempotent, ScopeAll, Errored, "failed"},
+		{"reset, safe", Idempotent, ScopeAll, Reset, "refused"},
+		{"reset, keyed for all", IdempotencyKeyed, ScopeAll, Reset, "refused"},
+		{"reset, keyed for a zone", IdempotencyKeyed, ScopeZone, Reset, "failed"},
+		{"time-out, safe", Idempotent, ScopeAll, TimedOut, "refused"},
+		{"time-out, unsafe", NonIdempotent, ScopeAll, TimedOut, "failed"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			set := settings()
-			set.Classes[0].Effect, set.Classes[0].Scope, set.Classes[0].Window = tt.effect, tt.scope, time.Second
+			set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].KeyWindow = tt.effect, tt.scope, time.Second
 			d := newBench(t, set, "a", "b", "c")
 			loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 			_, at := drawsUntilPlaced(d, "r", loads)
-			got := d.tell(AttemptEnded{ID: "r", Server: at, Outcome: tt.ended, Load: NoLoad})
+			got := d.tell(AttemptEnded{ID: "r", Server: at, Outcome: tt.ended, LoadReport: EmptyLoadReport})
 			switch {
-			case len(pick[Refuse](got)) == 1:
+			case len(pick[Reject](got)) == 1:
 				if tt.want != "refused" {
 					t.Errorf("refused, want %s", tt.want)
 				}
@@ -56,7 +56,7 @@
 
 func TestNothingToDrainingServers(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
-	d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
 	actions := d.request("r")
 	asked := pick[Probe](actions)[0].Server
 	// the server drains while its answer is on the way
@@ -83,13 +83,13 @@
 		set.Limits.MaxAttempts = most // 0 means 1
 		d := newBench(t, set, "a", "b", "c", "d", "e")
 		attempts, actions := 0, d.request("r")
-		for len(pick[Refuse](actions)) == 0 && attempts < 9 {
+		for len(pick[Reject](actions)) == 0 && attempts < 9 {
 			for len(pick[Probe](actions)) > 0 {
 				actions = d.answer(pick[Probe](actions)[0].Server, 0.1)
 			}
 			for _, a := range pick[Attempt](actions) {
 				attempts++
-				actions = d.tell(AttemptEnded{ID: "r", Attempt: attempts - 1, Server: a.Server, Outcome: Full, Load: NoLoad})
+				actions = d.tell(AttemptEnded{ID: "r", Attempt: attempts - 1, Server: a.Server, Outcome: AtCapacity, LoadReport: EmptyLoadReport})
 			}
 			if len(actions) == 0 {
 				actions = d.run(d.now + 100*ms)
@@ -104,14 +104,14 @@
 // A second end of one attempt had the request wait twice for its turn: it drew twice
 // at once, and was sent twice.
 func TestSecondEndChangesNothing(t *testing.T) {
-	for _, o := range []Outcome{Full, ConnectFailed, Errored, Reset} {
+	for _, o := range []Outcome{AtCapacity, ConnectFailed, Errored, Reset} {
 		d := newBench(t, settings(), "a", "b", "c", "d")
 		_, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1})
-		end := AttemptEnded{ID: "r", Server: at, Outcome: Full, Load: NoLoad}
+		end := AttemptEnded{ID: "r", Server: at, Outcome: AtCapacity, LoadReport: EmptyLoadReport}
 		actions := d.tell(end)
 		end.Outcome = o
 		actions = append(actions, d.tell(end)...)
-		sent, answers := 0, len(pick[Refuse](actions))
+		sent, answers := 0, len(pick[Reject](actions))
 		for _, p := range pick[Probe](actions) {
 			sent += len(pick[Attempt](d.answer(p.Server, 0.1)))
 		}
@@ -124,7 +124,7 @@
 // To give up is to answer now. Requests that no ready server may be sent waited for
 // their deadline all the same.
 func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
-	keyed := func(s *Settings) { s.Classes[0].Effect, s.Classes[0].Window = Keyed, 100*ms }
+	keyed := func(s *Settings) { s.Classes[0].Idempotency, s.Classes[0].KeyWindow = IdempotencyKeyed, 100*ms }
 	tests := []struct {
 		name string
 		set  func(*Settings)
@@ -150,7 +150,7 @@
 					actions = d.answer(pick[Probe](actions)[0].Server, 0.1)
 				}
 				for _, a := range pick[Attempt](actions) {
-					actions = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: a.Server, Outcome: Full, Load: NoLoad})
+					actions = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: a.Server, Outcome: AtCapacity, LoadReport: EmptyLoadReport})
 				}
 			}
 			return actions
@@ -159,13 +159,13 @@
 			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
 			d.b.congested()
 			d.b.pausedTo = d.now + time.Second
-			d.tell(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, Load: NoLoad})
+			d.tell(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, LoadReport: EmptyLoadReport})
 			return d.run(d.now + 102*ms)
 		}},
 		{"its repeats' window ends while it is probed", keyed, func(d *bench) []Action {
 			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
 			d.now += 90 * ms
-			asked := pick[Probe](d.tell(AttemptEnded{ID: "r", Server: d.b.requests["r"].at.ID, Outcome: Errored, Load: NoLoad}))
+			asked := pick[Probe](d.tell(AttemptEnded{ID: "r", Server: d.b.requests["r"].at.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
 			d.now += 20 * ms
 			return d.answer(asked[0].Server, 0.1)
 		}},
@@ -181,7 +181,7 @@
 				d.list(ListFull, entries("a")...)
 			}
 			got := tt.play(d)
-			if refused := pick[Refuse](got); len(refused) != 1 || refused[0].Pause == 0 || len(pick[Attempt](got)) != 0 {
+			if refused := pick[Reject](got); len(refused) != 1 || refused[0].RetryAfter == 0 || len(pick[Attempt](got)) != 0 {
 				t.Errorf("got %v, want one refusal that says when to return", got)
 			}
 		})
@@ -192,14 +192,14 @@
 // that may have been at once. Counted from the latest end, a third came too late.
 func TestRepeatsCountFromTheFirst(t *testing.T) {
 	set := settings()
-	set.Classes[0].Effect, set.Classes[0].Window = Keyed, 100*ms
+	set.Classes[0].Idempotency, set.Classes[0].KeyWindow = IdempotencyKeyed, 100*ms
 	d := newBench(t, set, "a", "b", "c")
 	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 	_, at := drawsUntilPlaced(d, "r", loads)
 	var got []Action
 	for i := range 2 {
 		d.now += 60 * ms
-		got = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: at, Outcome: Errored, Load: NoLoad})
+		got = d.tell(AttemptEnded{ID: "r", Attempt: i, Server: at, Outcome: Errored, LoadReport: EmptyLoadReport})
 		for len(pick[Probe](got)) > 0 {
 			got = d.answer(pick[Probe](got)[0].Server, 0.1)
 		}
@@ -207,7 +207,7 @@
 			at = sent[0].Server
 		}
 	}
-	if len(pick[Refuse](got)) != 1 {
+	if len(pick[Reject](got)) != 1 {
 		t.Errorf("120 ms after it may first have run: %v, want a refusal", got)
 	}
 }
@@ -220,8 +220,8 @@
 	d := newBench(t, set)
 	d.list(ListFull) // nobody to go to: refused at once
 	for i := range 100 {
-		got := pick[Refuse](d.request(fmt.Sprint("r", i)))
-		if len(got) != 1 || got[0].Pause <= 0 || got[0].Pause > 300*ms {
+		got := pick[Reject](d.request(fmt.Sprint("r", i)))
+		if len(got) != 1 || got[0].RetryAfter <= 0 || got[0].RetryAfter > 300*ms {
 			t.Fatalf("refused with %v", got)
 		}
 	}
--- a/balance/probe.go
+++ b/balance/probe.go
@@ -26,7 +26,9 @@
 
 // probesTell tells whether a draw can be answered by a probe. Where it can't,
 // what the last reports told takes the answer's place.
-func (b *Balancer) probesTell() bool { return b.set.Limits.Probes && b.set.Reports.ByProbe }
+func (b *Balancer) probesTell() bool {
+	return b.set.Limits.ProbesAllowed && b.set.LoadReporting.InProbeResults
+}
 
 // ask probes s for r and holds r meanwhile. One probe answers all who wait.
 func (b *Balancer) ask(r *request, s *server) {
@@ -56,18 +58,18 @@
 }
 
 // probed takes a probe's answer: news of the server, and for all who wait.
-func (b *Balancer) probed(e ProbeAnswer) {
+func (b *Balancer) probed(e ProbeResult) {
 	s := b.servers[e.Server]
 	if s == nil {
 		return
 	}
 	s.probing = false
 	if e.Outcome == OK {
-		if e.Load.X0 == 0 && len(s.conns) > 0 {
+		if e.LoadReport.Utilization == 0 && len(s.conns) > 0 {
 			s.lookAt = b.now + lookAfter // a report from before they were there
 		}
 		b.learnTrip(e.Latency.Seconds())
-		b.report(s, e.Load)
+		b.report(s, e.LoadReport)
 	} else if e.Outcome == ConnectFailed || e.Outcome == TimedOut {
 		s.asked.add(b.now, 1)
 		b.fault(s)
@@ -91,10 +93,10 @@
 }
 
 // report takes a server's load report.
-func (b *Balancer) report(s *server, l Load) {
-	load := l.X0
+func (b *Balancer) report(s *server, l LoadReport) {
+	load := l.Utilization
 	if load < 0 {
-		load = l.Util
+		load = l.CPUUtilization
 	}
 	if load < 0 {
 		return
@@ -103,7 +105,7 @@
 		s.load, s.each = -1, 0
 		return
 	}
-	if b.slow > 0 && l.Latency/1000 > b.slow.Seconds() {
+	if b.slow > 0 && l.LatencyMillis/1000 > b.slow.Seconds() {
 		load = max(load, 1) // it serves nobody in time, whatever its cores could do
 	}
 	s.load = load
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -11,7 +11,7 @@
 // before it could answer, and the draws told nothing.
 func TestProbesWithoutAnAim(t *testing.T) {
 	set := settings()
-	set.Classes[0].Aim = 0
+	set.Classes[0].LatencyObjective = 0
 	d := newBench(t, set, "a", "b")
 	asked := pick[Probe](d.request("r"))
 	if got := d.run(d.now + 5*ms); len(got) != 0 {
@@ -27,16 +27,16 @@
 // and the load of one connection for good.
 func TestReportsThatCannotBe(t *testing.T) {
 	inf, nan := math.Inf(1), math.NaN()
-	for _, l := range []Load{report(nan, 5), report(inf, 5), report(18446744073709551615, 5), report(1e300, 5),
+	for _, l := range []LoadReport{report(nan, 5), report(inf, 5), report(18446744073709551615, 5), report(1e300, 5),
 		report(inf, inf), report(0.3, nan), report(0.3, inf), report(0.3, 18446744073709551615),
 		report(-0.3, 5), report(math.Inf(-1), 5), report(0.3, -1)} {
-		t.Run(fmt.Sprint(l.X0, " with ", l.Inflight), func(t *testing.T) {
+		t.Run(fmt.Sprint(l.Utilization, " with ", l.Inflight), func(t *testing.T) {
 			d := newBench(t, settings(), "a", "b")
-			tell := func(s string, l Load) []Action {
-				return d.tell(ProbeAnswer{Server: s, Outcome: OK, Latency: ms, Load: l})
+			tell := func(s string, l LoadReport) []Action {
+				return d.tell(ProbeResult{Server: s, Outcome: OK, Latency: ms, LoadReport: l})
 			}
 			for i := range 20 {
-				d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
+				d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
 				tell("a", report(0.5, 20))
 				tell("b", report(0.5, 20))
 			}
@@ -45,7 +45,7 @@
 			if got := d.b.usual; !(math.Abs(got-usual) < 0.2) {
 				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
 			}
-			if believed := l.X0 >= 0 && l.X0 < 1; !believed {
+			if believed := l.Utilization >= 0 && l.Utilization < 1; !believed {
 				asked, actions := "", d.request("r")
 				for asked != "a" && len(pick[Probe](actions)) > 0 { // let it be drawn
 					if asked = pick[Probe](actions)[0].Server; asked == "a" {
@@ -54,7 +54,7 @@
 						actions = tell("b", report(0.95, 20))
 					}
 				}
-				if got := pick[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.X0 > 1 {
+				if got := pick[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.Utilization > 1 {
 					t.Error("passed as low")
 				}
 			}
@@ -76,8 +76,8 @@
 		t.Run(fmt.Sprint(huge), func(t *testing.T) {
 			d := newBench(t, settings(), "a")
 			hinted := func(id string, hint float64) float64 {
-				d.tell(Request{ID: id, Class: "c", Hint: hint, Deadline: d.now + time.Second})
-				d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+				d.tell(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
+				d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
 				w := d.b.weight(d.b.requests[id], d.b.servers["a"])
 				d.tell(ClientGone{ID: id})
 				return w
@@ -99,9 +99,9 @@
 // Where it came first it was the mean itself, and the others still weighed nothing.
 func TestHugeHintComesFirst(t *testing.T) {
 	d := newBench(t, settings(), "a")
-	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.4, 40)})
+	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
-		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", Hint: hint, Deadline: d.now + time.Second})
+		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
 		if w := d.b.weight(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
 			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
 		}
@@ -113,12 +113,12 @@
 func TestFirstHint(t *testing.T) {
 	d := newBench(t, settings(), "a")
 	for i := range 100 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	d.run(d.now + 20*time.Second)
 	d.answer("a", 0.5)
-	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: report(0.5, 100)})
-	d.tell(Request{ID: "r", Class: "c", Hint: 7, Deadline: d.now + time.Second})
+	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.5, 100)})
+	d.tell(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
 	if w := d.b.weight(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
@@ -131,8 +131,8 @@
 func TestBusyIsNotFull(t *testing.T) {
 	for load, want := range map[float64]bool{0.8: true, 0.9: false} {
 		d := newBench(t, settings(), "a")
-		d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
-		if got := d.answer("a", load); len(pick[Move](got)) != 0 {
+		d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		if got := d.answer("a", load); len(pick[Migrate](got)) != 0 {
 			t.Errorf("moved at load %.2f", load)
 		}
 		if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": load}); (at != "") != want {
@@ -146,11 +146,11 @@
 func TestSlowIsFull(t *testing.T) {
 	for latency, want := range map[float64]bool{20: true, 300: false} {
 		d := newBench(t, settings(), "a")
-		d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
-		l := NoLoad
-		l.X0, l.Latency = 0.4, latency
+		d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		l := EmptyLoadReport
+		l.Utilization, l.LatencyMillis = 0.4, latency
 		d.request("r")
-		got := d.tell(ProbeAnswer{Server: "a", Latency: ms, Load: l})
+		got := d.tell(ProbeResult{Server: "a", Latency: ms, LoadReport: l})
 		if sent := len(pick[Attempt](got)) > 0; sent != want {
 			t.Errorf("sent there with a service time of %v ms: %v, want %v", latency, sent, want)
 		}
@@ -162,19 +162,19 @@
 func TestWhatFailedWeighsNothing(t *testing.T) {
 	d := newBench(t, settings(), "a")
 	l := report(0.4, 8)
-	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
 	before := d.b.loadOf(d.b.servers["a"])
 	for i := range 5 {
 		id := string(rune('a' + i))
 		d.request(id)
-		if sent := pick[Attempt](d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})); len(sent) != 1 {
+		if sent := pick[Attempt](d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})); len(sent) != 1 {
 			t.Fatalf("request %d was not sent", i)
 		}
 		d.now += 20 * ms
-		d.tell(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, Load: NoLoad})
+		d.tell(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, LoadReport: EmptyLoadReport})
 		d.run(d.now + time.Second/4)
 	}
-	d.tell(ProbeAnswer{Server: "a", Outcome: OK, Latency: ms, Load: l})
+	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
 	if got := d.b.loadOf(d.b.servers["a"]); got > before+0.01 {
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -66,7 +66,7 @@
 func (b *Balancer) move(r *request) {
 	if !r.moving {
 		r.moving = true
-		b.do(Move{ID: r.ID})
+		b.do(Migrate{ID: r.ID})
 	}
 }
 
--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -13,8 +13,8 @@
 	if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1}); at != "a" {
 		t.Fatalf("placed on %q", at)
 	}
-	d.tell(Started{ID: "r", Server: "a"})
-	if got := pick[Move](d.run(d.now + 5*time.Second)); len(got) != 0 {
+	d.tell(ConnectionEstablished{ID: "r", Server: "a"})
+	if got := pick[Migrate](d.run(d.now + 5*time.Second)); len(got) != 0 {
 		t.Errorf("%d moves, want none", len(got))
 	}
 }
@@ -22,10 +22,10 @@
 func TestConnectionsLeaveADrainingServer(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
 	for i := range 5 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	d.list(ListDelta, ServerEntry{ID: "a", State: Draining})
-	if got := pick[Move](d.run(d.now + drainSpread + ms)); len(got) != 5 {
+	if got := pick[Migrate](d.run(d.now + drainSpread + ms)); len(got) != 5 {
 		t.Errorf("%d moves within the spread, want 5", len(got))
 	}
 }
@@ -36,7 +36,7 @@
 	for _, answered := range []bool{true, false} {
 		d := newBench(t, settings(), "a", "b")
 		for i := range 20 {
-			d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+			d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 		}
 		d.now += 10 * time.Second
 		d.b.servers["a"].load = 3
@@ -44,9 +44,9 @@
 		if answered {
 			got = d.answer("a", 3)
 		} else {
-			got = d.tell(ProbeAnswer{Server: "a", Outcome: TimedOut, Load: NoLoad})
+			got = d.tell(ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport})
 		}
-		if moves := len(pick[Move](got)); (moves > 0) != answered {
+		if moves := len(pick[Migrate](got)); (moves > 0) != answered {
 			t.Errorf("answered %v: %d moves", answered, moves)
 		}
 	}
@@ -57,12 +57,12 @@
 func TestUnevenLoadIsRelieved(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
 	for i := range 40 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	for range 16 {
 		d.answer("b", 0.4)
 	}
-	if got := pick[Move](d.answer("a", 0.87)); len(got) == 0 {
+	if got := pick[Migrate](d.answer("a", 0.87)); len(got) == 0 {
 		t.Error("nobody moved from a server at load 0.87 beside one at 0.40")
 	}
 }
@@ -73,13 +73,13 @@
 func TestOverfullFromTheStart(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
 	for i := range 40 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	loads := []float64{0, 1.06, 1} // as its reports tell, one after the other
 	var moved []int
 	for d.now < 5*time.Second && len(moved) < len(loads) {
 		for range pick[Probe](d.run(d.now + house)) {
-			moved = append(moved, len(pick[Move](d.answer("a", loads[len(moved)]))))
+			moved = append(moved, len(pick[Migrate](d.answer("a", loads[len(moved)]))))
 		}
 	}
 	if len(moved) != 3 || moved[0] != 0 || moved[1] < 6 || moved[2] == 0 {
@@ -91,7 +91,7 @@
 // draws may not meet it for many seconds: one that holds connections is looked at.
 func TestServersInUseAreLookedAt(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
-	d.tell(OpenConn{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
 	probed := map[string]int{}
 	for range 40 {
 		for _, p := range pick[Probe](d.run(d.now + house)) {
--- a/balance/rough_test.go
+++ b/balance/rough_test.go
@@ -26,7 +26,7 @@
 	room    float64 // connections that fill a warm server
 	servers map[string]*ServerEntry
 	conns   map[string]map[string]int // by server and request: its node
-	shown   map[string]Load           // the report that probes find, refreshed now and then
+	shown   map[string]LoadReport     // the report that probes find, refreshed now and then
 	hung    map[string]bool
 	tries   map[string]int
 	due     map[string]time.Duration // when a client gives up
@@ -58,7 +58,7 @@
 
 func newRough(t *testing.T, seed uint64, set Settings, book *refmodel.Book, nodes, servers int, room float64) *rough {
 	r := &rough{t: t, rng: rand.New(rand.NewPCG(seed, 2)), now: time.Minute, book: book, set: set, room: room,
-		servers: map[string]*ServerEntry{}, conns: map[string]map[string]int{}, shown: map[string]Load{},
+		servers: map[string]*ServerEntry{}, conns: map[string]map[string]int{}, shown: map[string]LoadReport{},
 		hung: map[string]bool{}, tries: map[string]int{}, due: map[string]time.Duration{}}
 	for i := range nodes {
 		own := set
@@ -87,7 +87,7 @@
 		r.conns[e.ID] = map[string]int{}
 	}
 	r.servers[e.ID] = &e
-	r.book.Told(r.now, e.ID, refmodel.State(e.State), e.Started)
+	r.book.Told(r.now, e.ID, refmodel.State(e.State), e.StartedAt)
 	for n := range r.nodes {
 		r.tell(n, ListUpdate{Kind: ListDelta, Entries: []ServerEntry{e}})
 	}
@@ -96,12 +96,12 @@
 // start starts a process, under a new id or one that is known: then what the old one
 // held ends.
 func (r *rough) start(id string) {
-	r.list(ServerEntry{ID: id, Started: r.now})
+	r.list(ServerEntry{ID: id, StartedAt: r.now})
 	for i := range r.ids {
 		req := fmt.Sprint("r", i+1)
 		if n, ok := r.conns[id][req]; ok {
 			delete(r.conns[id], req)
-			r.tell(n, AttemptEnded{ID: req, Attempt: r.tries[req] - 1, Server: id, Outcome: Reset, Final: true, Load: NoLoad})
+			r.tell(n, AttemptEnded{ID: req, Attempt: r.tries[req] - 1, Server: id, Outcome: Reset, Final: true, LoadReport: EmptyLoadReport})
 			r.arrive(true)
 		}
 	}
@@ -110,8 +110,8 @@
 // loadOf is what a server really has, over what it can do.
 func (r *rough) loadOf(id string) float64 {
 	room := r.room
-	if s := r.servers[id]; s.Started > 0 {
-		room *= min(1, r.set.Rules.ColdShare+(1-r.set.Rules.ColdShare)*(r.now-s.Started).Seconds()/r.set.Rules.Ramp.Seconds())
+	if s := r.servers[id]; s.StartedAt > 0 {
+		room *= min(1, r.set.Rules.InitialCapacity+(1-r.set.Rules.InitialCapacity)*(r.now-s.StartedAt).Seconds()/r.set.Rules.SlowStartWindow.Seconds())
 	}
 	return float64(len(r.conns[id])) / room
 }
@@ -130,7 +130,7 @@
 	id := fmt.Sprint("r", r.ids)
 	r.due[id] = r.now + 2*time.Second
 	r.book.Asked(r.now, id, r.due[id], refmodel.Repeats{})
-	r.tell(r.rng.IntN(len(r.nodes)), Request{ID: id, Class: "c", Returned: returned, Deadline: r.due[id]})
+	r.tell(r.rng.IntN(len(r.nodes)), Request{ID: id, Class: "c", Reconnecting: returned, Deadline: r.due[id]})
 }
 
 func (r *rough) tell(n int, ev Event) {
@@ -142,11 +142,11 @@
 			r.probe(n, a.Server)
 		case Attempt:
 			r.attempt(n, a)
-		case Refuse:
+		case Reject:
 			r.book.Answered(r.now, a.ID, refmodel.Refused)
 		case Fail:
 			r.book.Answered(r.now, a.ID, refmodel.Failed)
-		case Move:
+		case Migrate:
 			r.in(ms, func() { r.end(n, a.ID, Cancelled) })
 		}
 	}
@@ -155,11 +155,11 @@
 // probe answers with the report there is, 50 ms old by then.
 func (r *rough) probe(n int, id string) {
 	if r.hung[id] && r.rng.IntN(2) == 0 {
-		r.in(500*ms, func() { r.tell(n, ProbeAnswer{Server: id, Outcome: TimedOut, Load: NoLoad}) })
+		r.in(500*ms, func() { r.tell(n, ProbeResult{Server: id, Outcome: TimedOut, LoadReport: EmptyLoadReport}) })
 		return
 	}
 	l := r.shown[id]
-	r.in(50*ms, func() { r.tell(n, ProbeAnswer{Server: id, Outcome: OK, Latency: 50 * ms, Load: l}) })
+	r.in(50*ms, func() { r.tell(n, ProbeResult{Server: id, Outcome: OK, Latency: 50 * ms, LoadReport: l}) })
 }
 
 func (r *rough) attempt(n int, a Attempt) {
@@ -169,19 +169,19 @@
 	failed := func(o Outcome, how refmodel.End) func() {
 		return func() {
 			r.book.Ended(r.now, a.ID, how)
-			r.tell(n, AttemptEnded{ID: a.ID, Attempt: try, Server: a.Server, Outcome: o, Load: NoLoad})
+			r.tell(n, AttemptEnded{ID: a.ID, Attempt: try, Server: a.Server, Outcome: o, LoadReport: EmptyLoadReport})
 		}
 	}
 	switch {
 	case r.hung[a.Server]:
 		r.in(r.due[a.ID]-r.now, failed(TimedOut, refmodel.NoReply))
 	case r.loadOf(a.Server) > 1.2:
-		r.in(5*ms, failed(Full, refmodel.NotRun))
+		r.in(5*ms, failed(AtCapacity, refmodel.NotRun))
 	default:
 		r.conns[a.Server][a.ID] = n
 		r.in(5*ms, func() {
 			r.book.Answered(r.now, a.ID, refmodel.Served)
-			r.tell(n, Started{ID: a.ID, Attempt: try, Server: a.Server, Latency: 5 * ms})
+			r.tell(n, ConnectionEstablished{ID: a.ID, Attempt: try, Server: a.Server, Latency: 5 * ms})
 			r.in(time.Duration(r.rng.ExpFloat64()*float64(10*time.Second)), func() { r.end(n, a.ID, OK) })
 		})
 	}
@@ -192,7 +192,7 @@
 	for server, held := range r.conns {
 		if _, ok := held[id]; ok {
 			delete(held, id)
-			r.tell(n, AttemptEnded{ID: id, Attempt: r.tries[id] - 1, Server: server, Outcome: o, Final: true, Load: NoLoad})
+			r.tell(n, AttemptEnded{ID: id, Attempt: r.tries[id] - 1, Server: server, Outcome: o, Final: true, LoadReport: EmptyLoadReport})
 			if o == Cancelled {
 				r.in(100*ms, func() { r.arrive(true) })
 			}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -10,13 +10,13 @@
 // rulesSettings has a class of every kind of effect.
 func rulesSettings() Settings {
 	set := settings()
-	set.Conns.Groups = true
-	base := Class{Aim: 200 * ms, Deadline: time.Second, Window: 300 * ms}
+	set.Connections.GroupAffinity = true
+	base := Class{LatencyObjective: 200 * ms, Deadline: time.Second, KeyWindow: 300 * ms}
 	set.Classes = nil
-	for i, c := range []Class{{Effect: Safe}, {Effect: Keyed}, {Effect: Keyed, Scope: ScopeZone},
-		{Effect: Keyed, Scope: ScopeCell}, {Effect: Unsafe}} {
+	for i, c := range []Class{{Idempotency: Idempotent}, {Idempotency: IdempotencyKeyed}, {Idempotency: IdempotencyKeyed, KeyScope: ScopeZone},
+		{Idempotency: IdempotencyKeyed, KeyScope: ScopeCell}, {Idempotency: NonIdempotent}} {
 		class := base
-		class.Name, class.Effect, class.Scope = fmt.Sprint("c", i), c.Effect, c.Scope
+		class.Name, class.Idempotency, class.KeyScope = fmt.Sprint("c", i), c.Idempotency, c.KeyScope
 		set.Classes = append(set.Classes, class)
 	}
 	return set
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -11,93 +11,93 @@
 // Settings is what an instance is told at its start. Zero values of optional
 // fields mean what their comments say.
 type Settings struct {
-	Instance  int           // this instance's number among its peers, from 0
-	Instances int           // how many balancers there are; at least 1
-	Tick      time.Duration // events come at most this often
-	Classes   []Class       // request classes; at least one
-	ListAsked bool          // the server list comes only after Subscribe or FetchList
-	AskWithin time.Duration // an asked list is deemed told after this without a call
-	AskNow    bool          // this instance starts alone: it need not spread its first call
-	Processes int           // that place for this instance, each for itself; 0 means 1
-	Rules     Rules
-	Limits    Limits
-	Reports   Reports
-	Conns     Conns
+	Instance             int           // this instance's number among its peers, from 0
+	Instances            int           // how many balancers there are; at least 1
+	Tick                 time.Duration // events come at most this often
+	Classes              []Class       // request classes; at least one
+	SubscribeRequired    bool          // the server list comes only after Subscribe or FetchList
+	SubscribeTimeout     time.Duration // an asked list is deemed told after this without a call
+	SubscribeImmediately bool          // this instance starts alone: it need not spread its first call
+	Processes            int           // that place for this instance, each for itself; 0 means 1
+	Rules                Rules
+	Limits               Limits
+	LoadReporting        LoadReporting
+	Connections          ConnectionTraits
 }
 
 // Effect says what repeating a request may do.
-type Effect int
+type Idempotency int
 
 // The kinds of effect.
 const (
-	Safe   Effect = iota // may be repeated freely
-	Keyed                // repeats are dropped within a group of servers, for a while
-	Unsafe               // must not be repeated once it may have run
+	Idempotent       Idempotency = iota // may be repeated freely
+	IdempotencyKeyed                    // repeats are dropped within a group of servers, for a while
+	NonIdempotent                       // must not be repeated once it may have run
 )
 
 // Scope is the group of servers that drops the repeats of a keyed request.
-type Scope int
+type KeyScope int
 
 // The scopes of keyed repeats.
 const (
-	ScopeAll Scope = iota
+	ScopeAll KeyScope = iota
 	ScopeZone
 	ScopeCell
 )
 
 // Class describes one class of requests.
 type Class struct {
-	Name       string
-	Aim        time.Duration // set-up wanted within
-	Deadline   time.Duration // clients wait no longer
-	MessageAim time.Duration // a message on an open connection wanted within; 0 if not told
-	Effect     Effect
-	Scope      Scope         // for Keyed
-	Window     time.Duration // for Keyed: how long repeats are remembered
+	Name                    string
+	LatencyObjective        time.Duration // set-up wanted within
+	Deadline                time.Duration // clients wait no longer
+	MessageLatencyObjective time.Duration // a message on an open connection wanted within; 0 if not told
+	Idempotency             Idempotency
+	KeyScope                KeyScope      // for Keyed
+	KeyWindow               time.Duration // for Keyed: how long repeats are remembered
 }
 
 // Rules are the figures of the four rules.
 type Rules struct {
-	AnswerGrace  time.Duration // a final answer still counts this long after the deadline
-	DrainGrace   time.Duration // sends to a draining or gone server end within
-	ColdShare    float64       // a server starts with at least this share of its capacity
-	Ramp         time.Duration // and is warm after at most this
-	FallMultiple float64       // more than this multiple of a cold server's capacity,
-	FallAfter    time.Duration // for this long, makes it fall over
+	AnswerGrace      time.Duration // a final answer still counts this long after the deadline
+	DrainGrace       time.Duration // sends to a draining or gone server end within
+	InitialCapacity  float64       // a server starts with at least this share of its capacity
+	SlowStartWindow  time.Duration // and is warm after at most this
+	OverloadMultiple float64       // more than this multiple of a cold server's capacity,
+	OverloadDuration time.Duration // for this long, makes it fall over
 }
 
 // Limits are what an instance may do.
 type Limits struct {
-	Probes         bool // Probe is allowed
-	RetryAfter     bool // clients are told the pause of a Refuse
+	ProbesAllowed  bool // Probe is allowed
+	SendRetryAfter bool // clients are told the pause of a Refuse
 	MaxAttempts    int  // attempts a request; 0 means 1
 	MaxRetryAfter  time.Duration
 	ConnectTimeout time.Duration
 }
 
 // Reports says how load reports come.
-type Reports struct {
-	WithAnswers bool // in outcomes as well as in probe answers
-	ByProbe     bool // in probe answers
+type LoadReporting struct {
+	InOutcomes     bool // in outcomes as well as in probe answers
+	InProbeResults bool // in probe answers
 }
 
 // Conns holds facts about the connections.
-type Conns struct {
-	Groups bool // connections of one group share work on a server
+type ConnectionTraits struct {
+	GroupAffinity bool // connections of one group share work on a server
 }
 
 // Check names the first setting that can't be worked with.
-func (s *Settings) Check() error {
+func (s *Settings) Validate() error {
 	switch {
 	case len(s.Classes) == 0:
 		return errors.New("settings: no classes")
-	case s.Rules.AnswerGrace < 0, s.Rules.DrainGrace < 0, s.Rules.Ramp < 0, s.Rules.FallAfter < 0:
+	case s.Rules.AnswerGrace < 0, s.Rules.DrainGrace < 0, s.Rules.SlowStartWindow < 0, s.Rules.OverloadDuration < 0:
 		return errors.New("settings: rules: a negative time")
-	case s.Rules.ColdShare < 0 || s.Rules.ColdShare > 1:
+	case s.Rules.InitialCapacity < 0 || s.Rules.InitialCapacity > 1:
 		return errors.New("settings: rules: cold share outside 0 to 1")
 	}
 	for _, c := range s.Classes {
-		if c.Effect < Safe || c.Effect > Unsafe || c.Deadline < 0 || c.Aim < 0 {
+		if c.Idempotency < Idempotent || c.Idempotency > NonIdempotent || c.Deadline < 0 || c.LatencyObjective < 0 {
 			return fmt.Errorf("settings: class %q: unknown effect or negative time", c.Name)
 		}
 	}
@@ -109,7 +109,7 @@
 	set.Instances, set.Processes = max(set.Instances, 1), max(set.Processes, 1)
 	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
 	b.set, b.classes, b.slow = set, map[string]*Class{}, 0
-	b.rate[0].span, b.rate[1].span = max(set.Rules.FallAfter, settle), 10*max(set.Rules.FallAfter, settle)
+	b.rate[0].span, b.rate[1].span = max(set.Rules.OverloadDuration, settle), 10*max(set.Rules.OverloadDuration, settle)
 	b.again.span = b.rate[1].span
 	for _, s := range b.servers {
 		s.sent.span = b.rate[0].span
@@ -117,8 +117,8 @@
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		b.classes[c.Name] = c
-		if b.slow == 0 || c.MessageAim > 0 && c.MessageAim < b.slow {
-			b.slow = c.MessageAim
+		if b.slow == 0 || c.MessageLatencyObjective > 0 && c.MessageLatencyObjective < b.slow {
+			b.slow = c.MessageLatencyObjective
 		}
 	}
 }
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -58,16 +58,16 @@
 	// Where connections outlive the ramp, a server can take them faster than
 	// the usual rate: as fast as fills it within the ramp. One that holds nothing
 	// and knows no usual rate yet goes by one connection: none would serve nobody.
-	usual = max(usual, float64(max(b.open, 1))/max(b.set.Rules.Ramp, settle).Seconds())
-	return coldPart * b.set.Rules.FallMultiple * w * usual / max(b.usual, lowest)
+	usual = max(usual, float64(max(b.open, 1))/max(b.set.Rules.SlowStartWindow, settle).Seconds())
+	return coldPart * b.set.Rules.OverloadMultiple * w * usual / max(b.usual, lowest)
 }
 
 // warmth estimates the share of its capacity that a server has by now.
 func (b *Balancer) warmth(s *server) float64 {
-	age, ramp := b.now-s.Started, b.set.Rules.Ramp
-	if s.Started <= 0 || age >= ramp {
+	age, ramp := b.now-s.StartedAt, b.set.Rules.SlowStartWindow
+	if s.StartedAt <= 0 || age >= ramp {
 		return 1
 	}
-	cold := b.set.Rules.ColdShare
+	cold := b.set.Rules.InitialCapacity
 	return cold + (1-cold)*max(0, age.Seconds())/ramp.Seconds()
 }
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -36,7 +36,7 @@
 			cold := began + max(20*time.Second, 4*gap)
 			for i := 0; at < cold+span; i++ {
 				if d.now = at; at >= cold && loads["s0"] > 0 {
-					loads["s0"], list[0].Started = 0, cold
+					loads["s0"], list[0].StartedAt = 0, cold
 					d.list(ListDelta, list[0])
 				}
 				if _, to := drawsUntilPlaced(d, fmt.Sprint("r", i), loads); to == "s0" && at >= cold {
@@ -46,8 +46,8 @@
 			}
 		}
 		perSecond := float64(sent) / float64(rounds) / span.Seconds()
-		warmth := set.Rules.ColdShare // at the start; it only grows
-		budget := set.Rules.FallMultiple * warmth * usual / servers / 0.6
+		warmth := set.Rules.InitialCapacity // at the start; it only grows
+		budget := set.Rules.OverloadMultiple * warmth * usual / servers / 0.6
 		if perSecond > budget || sent == 0 {
 			t.Errorf("%d instances sent %.2f a second to a cold server, its budget is %.2f", instances, perSecond, budget)
 		}
@@ -58,7 +58,7 @@
 	d := newBench(t, settings())
 	var list []ServerEntry
 	for i := range 10 {
-		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), Started: d.now})
+		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), StartedAt: d.now})
 	}
 	d.list(ListFull, list...)
 	placed := 0
@@ -78,19 +78,19 @@
 // was up.
 func TestWaveAfterARestart(t *testing.T) {
 	d := newBench(t, settings(), "a", "b", "c", "d")
-	l := NoLoad
-	l.X0, l.Inflight = 0.55, 20
+	l := EmptyLoadReport
+	l.Utilization, l.Inflight = 0.55, 20
 	for i := range 24 {
 		id := fmt.Sprint("r", i)
-		got := d.tell(Request{ID: id, Class: "c", Returned: true, Deadline: d.now + time.Second})
+		got := d.tell(Request{ID: id, Class: "c", Reconnecting: true, Deadline: d.now + time.Second})
 		for len(pick[Probe](got)) > 0 {
-			got = d.tell(ProbeAnswer{Server: pick[Probe](got)[0].Server, Latency: ms, Load: l})
+			got = d.tell(ProbeResult{Server: pick[Probe](got)[0].Server, Latency: ms, LoadReport: l})
 		}
 		sent := pick[Attempt](got)
 		if len(sent) == 0 {
 			t.Fatalf("request %d of the wave is held", i)
 		}
-		d.tell(Started{ID: id, Server: sent[0].Server})
+		d.tell(ConnectionEstablished{ID: id, Server: sent[0].Server})
 		d.run(d.now + 10*ms)
 	}
 }
@@ -100,14 +100,14 @@
 func TestAnotherProcessStartsAfresh(t *testing.T) {
 	d := newBench(t, settings(), "a", "b")
 	for i := range 200 {
-		d.tell(OpenConn{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	d.answer("a", 0.9)
 	d.now += 30 * time.Second
 	for i := range 200 {
-		d.tell(AttemptEnded{ID: fmt.Sprint("o", i), Server: "a", Outcome: Reset, Final: true, Load: NoLoad})
+		d.tell(AttemptEnded{ID: fmt.Sprint("o", i), Server: "a", Outcome: Reset, Final: true, LoadReport: EmptyLoadReport})
 	}
-	d.list(ListDelta, ServerEntry{ID: "a", Started: d.now})
+	d.list(ListDelta, ServerEntry{ID: "a", StartedAt: d.now})
 	s := d.b.servers["a"]
 	if p, cold := d.b.share(&request{}, s), d.b.coldShare(d.b.warmth(s)); p < min(d.b.warmth(s), cold)*0.9 || d.b.loadOf(s) >= 0 {
 		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.loadOf(s))
@@ -121,7 +121,7 @@
 		set := settings()
 		set.Processes = processes
 		d := newBench(t, set, "a", "b", "c", "d")
-		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", Started: d.now}}})
+		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", StartedAt: d.now}}})
 		s, n := d.b.servers["a"], 0
 		for ; d.b.mayTake(s); n++ {
 			s.sent.add(d.b.now, 1)
@@ -140,10 +140,10 @@
 	for seed := range uint64(6) {
 		set := settings()
 		set.Instances = nodes
-		set.Rules.FallAfter = 1500 * ms
+		set.Rules.OverloadDuration = 1500 * ms
 		full := rate / load / servers // a second, for one warm server
-		book := refmodel.NewBook(refmodel.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.Ramp, ColdShare: 0.2,
-			Rate: full, Multiple: 3, Window: set.Rules.FallAfter, Chance: 2})
+		book := refmodel.NewBook(refmodel.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.SlowStartWindow, ColdShare: 0.2,
+			Rate: full, Multiple: 3, Window: set.Rules.OverloadDuration, Chance: 2})
 		r := newRough(t, seed, set, book, nodes, servers, full*life.Seconds())
 		r.play(8*time.Second, rate, 0)       // usual
 		r.start("new")                       // with no connections
--- a/balance/state.go
+++ b/balance/state.go
@@ -137,8 +137,8 @@
 
 // until is when there is something to decide about r at the latest.
 func (r *request) until() time.Duration {
-	if r.ran != nil && r.class.Effect == Keyed {
-		return min(r.giveUp, r.ranAt+r.class.Window)
+	if r.ran != nil && r.class.Idempotency == IdempotencyKeyed {
+		return min(r.giveUp, r.ranAt+r.class.KeyWindow)
 	}
 	return r.giveUp
 }
--- a/balance/track.go
+++ b/balance/track.go
@@ -20,19 +20,19 @@
 	class := b.classes[q.Class]
 	if class == nil { // unknown classes are treated as the first, but never repeated
 		c := b.set.Classes[0]
-		c.Effect = Unsafe
+		c.Idempotency = NonIdempotent
 		class = &c
 	}
 	b.seq++
 	r := &request{Request: q, seq: b.seq, class: class, heft: 1}
-	if q.Hint > 0 && !math.IsInf(q.Hint, 1) {
+	if q.LoadHint > 0 && !math.IsInf(q.LoadHint, 1) {
 		// Over the mean, and bounded: one client's word must not make all others weigh
 		// nothing.
 		if b.hints == 0 {
-			b.hint = q.Hint
+			b.hint = q.LoadHint
 		}
 		b.hints = min(b.hints+1, 64)
-		r.heft = min(max(q.Hint/b.hint, 1/heaviest), heaviest)
+		r.heft = min(max(q.LoadHint/b.hint, 1/heaviest), heaviest)
 		b.hint += (r.heft - 1) * b.hint / b.hints
 	}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
@@ -48,7 +48,7 @@
 	r.at, r.place, r.wake = s, len(s.conns), never
 	s.conns = append(s.conns, r)
 	b.open++
-	if b.set.Conns.Groups && r.Group != "" {
+	if b.set.Connections.GroupAffinity && r.Group != "" {
 		g := b.groups[r.Group]
 		if g == nil {
 			g = &group{}
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -22,7 +22,7 @@
 	probes   []string
 	ids      int
 	log      []Action
-	word     Granted // the fleet's last
+	word     QuotaLease // the fleet's last
 	wordTo   time.Duration
 	into     map[string]int // attempts by zone in its half
 }
@@ -61,7 +61,7 @@
 	var list []ServerEntry
 	for _, id := range w.ordered() {
 		s := w.servers[id]
-		w.book.Told(w.d.now, id, refmodel.State(s.State), s.Started)
+		w.book.Told(w.d.now, id, refmodel.State(s.State), s.StartedAt)
 		if kind == ListDelta || s.State != Gone {
 			list = append(list, *s)
 		}
@@ -71,10 +71,10 @@
 
 // repeats is what the book has to know of a class.
 func (w *world) repeats(c Class) refmodel.Repeats {
-	r := refmodel.Repeats{Never: c.Effect == Unsafe}
-	if c.Effect == Keyed {
-		r.Within = c.Window
-		switch c.Scope {
+	r := refmodel.Repeats{Never: c.Idempotency == NonIdempotent}
+	if c.Idempotency == IdempotencyKeyed {
+		r.Within = c.KeyWindow
+		switch c.KeyScope {
 		case ScopeZone:
 			r.Same = func(ran, s string) bool { return w.servers[ran].Zone == w.servers[s].Zone }
 		case ScopeCell:
@@ -93,10 +93,10 @@
 		case Attempt:
 			w.book.Sent(w.d.now, a.ID, a.Server)
 			j := w.requests[a.ID]
-			w.within(j.Bound, w.servers[a.Server].Zone)
+			w.within(j.Constraint, w.servers[a.Server].Zone)
 			j.out = a.Server
 			j.attempts++
-		case Refuse:
+		case Reject:
 			w.book.Answered(w.d.now, a.ID, refmodel.Refused)
 			w.requests[a.ID].over = true
 		case Fail:
@@ -107,7 +107,7 @@
 				w.t.Fatalf("probe of unknown server %s", a.Server)
 			}
 			w.probes = append(w.probes, a.Server)
-		case Move:
+		case Migrate:
 			if j := w.requests[a.ID]; j == nil {
 				w.t.Fatalf("move of unknown %s", a.ID)
 			}
@@ -127,7 +127,7 @@
 	case j.open:
 	case o == OK:
 		w.book.Answered(w.d.now, j.ID, refmodel.Served)
-	case o == Full || o == ConnectFailed || o == Moot:
+	case o == AtCapacity || o == ConnectFailed || o == NotSent:
 		w.book.Ended(w.d.now, j.ID, refmodel.NotRun)
 	case o == Errored:
 		w.book.Ended(w.d.now, j.ID, refmodel.MayRun)
@@ -135,7 +135,7 @@
 		w.book.Ended(w.d.now, j.ID, refmodel.NoReply)
 	}
 	j.over = final
-	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, Load: NoLoad}))
+	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, LoadReport: EmptyLoadReport}))
 }
 
 func (w *world) step() {
@@ -145,7 +145,7 @@
 		w.ids++
 		q := Request{ID: fmt.Sprint("r", w.ids), Class: c.Name, Group: fmt.Sprint("g", w.rng.IntN(4)), Deadline: w.d.now + c.Deadline}
 		if w.rng.IntN(3) == 0 {
-			q.Bound = &Bound{Zones: []ZonePart{{"z0", float64(w.rng.IntN(3)) / 2}}, Rest: float64(w.rng.IntN(3)) / 2}
+			q.Constraint = &ZoneConstraint{Zones: []ZoneShare{{"z0", float64(w.rng.IntN(3)) / 2}}, DefaultShare: float64(w.rng.IntN(3)) / 2}
 		}
 		w.requests[q.ID] = &job{Request: q}
 		w.book.Asked(w.d.now, q.ID, q.Deadline, w.repeats(c))
@@ -155,13 +155,13 @@
 			i := w.rng.IntN(n)
 			id := w.probes[i]
 			w.probes = append(w.probes[:i], w.probes[i+1:]...)
-			l := NoLoad
-			l.X0 = w.rng.Float64() * 1.3
-			o := []Outcome{OK, OK, OK, OK, Full, TimedOut, ConnectFailed}[w.rng.IntN(7)]
+			l := EmptyLoadReport
+			l.Utilization = w.rng.Float64() * 1.3
+			o := []Outcome{OK, OK, OK, OK, AtCapacity, TimedOut, ConnectFailed}[w.rng.IntN(7)]
 			if o != OK {
-				l = NoLoad
+				l = EmptyLoadReport
 			}
-			w.check(w.d.tell(ProbeAnswer{Server: id, Outcome: o, Latency: ms, Load: l}))
+			w.check(w.d.tell(ProbeResult{Server: id, Outcome: o, Latency: ms, LoadReport: l}))
 		}
 	case 6, 7:
 		for i := range w.ids { // the oldest attempt out
@@ -175,7 +175,7 @@
 			case o == OK && w.rng.IntN(2) == 0:
 				j.open = true
 				w.book.Answered(w.d.now, j.ID, refmodel.Served)
-				w.check(w.d.tell(Started{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
+				w.check(w.d.tell(ConnectionEstablished{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
 			default:
 				w.end(j, o)
 			}
@@ -186,7 +186,7 @@
 		was := s.State
 		s.State = []ServerState{Ready, Ready, Draining, Gone}[w.rng.IntN(4)]
 		if s.State == Ready && was != Ready {
-			s.Started = w.d.now
+			s.StartedAt = w.d.now
 		}
 		w.list([]ListKind{ListDelta, ListFull}[w.rng.IntN(2)])
 	case 9:
@@ -196,13 +196,13 @@
 			w.leave(j)
 		}
 	case 11:
-		if half := int64(w.d.now / time.Second); half > w.word.Half {
+		if half := int64(w.d.now / time.Second); half > w.word.Period {
 			w.into = map[string]int{}
-			w.word.Half = half
+			w.word.Period = half
 		}
-		w.word.For, w.word.Until, w.word.Retries = 800*ms, w.d.now+time.Second, 5
-		w.word.Zones = []ZoneGrant{{"z0", float64(w.rng.IntN(3)) / 2, w.rng.IntN(6) - 1}, {"z1", 1, -1}}
-		w.wordTo = w.d.now + w.word.For
+		w.word.LeaseDuration, w.word.TokensExpireAt, w.word.RetryBudget = 800*ms, w.d.now+time.Second, 5
+		w.word.Zones = []ZoneQuota{{"z0", float64(w.rng.IntN(3)) / 2, w.rng.IntN(6) - 1}, {"z1", 1, -1}}
+		w.wordTo = w.d.now + w.word.LeaseDuration
 		w.check(w.d.tell(w.word))
 	}
 }
@@ -218,11 +218,11 @@
 		return
 	}
 	if w.rng.IntN(2) == 0 {
-		w.check(w.d.tell(Started{ID: j.ID, Attempt: try, Server: server}))
+		w.check(w.d.tell(ConnectionEstablished{ID: j.ID, Attempt: try, Server: server}))
 	}
 	for range w.rng.IntN(3) {
 		o := Outcome(w.rng.IntN(8))
-		w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: try, Server: server, Outcome: o, Final: o == OK, Load: NoLoad}))
+		w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: try, Server: server, Outcome: o, Final: o == OK, LoadReport: EmptyLoadReport}))
 	}
 }
 
--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -155,7 +155,7 @@
 	k <- [2]net.Conn{caller, hop}
 	return true
 }
-func (taker) Learn(balance.Memory) {}
+func (taker) Learn(balance.LearnedState) {}
 
 // No socket holds small writes back: not one that was accepted, at a listener of the node's
 // own or an inherited one, not one that was handed over, nor one that the node dials.
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -22,8 +22,8 @@
 	lost := func(err error) {
 		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
 	}
-	l := &agentapi.Link{Addr: f.Agent, Say: func() agentapi.Said { return agentapi.Said{Spending: core.Spending()} },
-		Take: func(t agentapi.Told) { core.Grant(t.Granted) }, Lost: lost}
+	l := &agentapi.Link{Addr: f.Agent, Say: func() agentapi.Said { return agentapi.Said{QuotaUsage: core.Spending()} },
+		Take: func(t agentapi.Told) { core.Grant(t.QuotaLease) }, Lost: lost}
 	if f.ReplicatedLog.IsEnabled() {
 		r, err := newRoutes(core, f.AllocationConfig())
 		if err != nil {
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -138,7 +138,7 @@
 	core *dispatch.Core
 }
 
-func (s successor) Learn(m balance.Memory) { s.core.Learn(m) }
+func (s successor) Learn(m balance.LearnedState) { s.core.Learn(m) }
 
 // operations are what operators may ask of the node.
 type operations struct {
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -67,20 +67,20 @@
 }
 
 // Admit implements decide.Router.
-func (r *routes) Admit(q *dispatch.Request) (*route.Route, *balance.Bound) {
+func (r *routes) Admit(q *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
 	found := r.find(q)
 	if found == nil {
 		return nil, nil
 	}
 	if ok, over := r.ledger.Admit(r.now(), found, q.Retry); !ok {
 		r.refused = true
-		return nil, &balance.Bound{Name: over}
+		return nil, &balance.ZoneConstraint{Name: over}
 	}
 	return found, found.Bound
 }
 
 // Adopt implements decide.Router.
-func (r *routes) Adopt(q *dispatch.Request) (*route.Route, *balance.Bound) {
+func (r *routes) Adopt(q *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
 	found := r.find(q)
 	if found == nil {
 		return nil, nil
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -51,8 +51,8 @@
 
 func (s *sound) Subscribe() {}
 func (s *sound) Probe(server string) {
-	load := balance.NoLoad
-	load.X0, load.Inflight = 0.05, 1e5
+	load := balance.EmptyLoadReport
+	load.Utilization, load.Inflight = 0.05, 1e5
 	go s.core.Probed(server, balance.OK, time.Millisecond, load)
 }
 func (s *sound) Start(x dispatch.Item, attempt int, server string, _ time.Time) {
@@ -84,10 +84,10 @@
 		go a.Run(ctx)
 
 		hops := &sound{}
-		core, err := dispatch.New(dispatch.NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
-			Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
-			Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
-			Limits:  balance.Limits{Probes: true, RetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, hops, hops)
+		core, err := dispatch.New(dispatch.NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, SubscribeRequired: true, SubscribeTimeout: time.Second,
+			Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: time.Second}},
+			Rules:   balance.Rules{DrainGrace: time.Second, SlowStartWindow: 20 * time.Second, InitialCapacity: 0.2, OverloadMultiple: 3, OverloadDuration: time.Second},
+			Limits:  balance.Limits{ProbesAllowed: true, SendRetryAfter: true, MaxRetryAfter: time.Second, MaxAttempts: 3}, LoadReporting: balance.LoadReporting{InProbeResults: true}}, hops, hops)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -100,7 +100,7 @@
 		go core.Run(ctx)
 
 		exchange := func() {
-			said := agentapi.Said{Spending: core.Spending()}
+			said := agentapi.Said{QuotaUsage: core.Spending()}
 			node.say(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -61,7 +61,7 @@
 	}
 	c.Settings = platform.ForWatch(c.Settings)
 	// A node's start is one of many, a successor's its own.
-	c.Settings.AskNow = c.Settings.AskNow || place.IsSiblingAlive()
+	c.Settings.SubscribeImmediately = c.Settings.SubscribeImmediately || place.IsSiblingAlive()
 	hops := upstream.New(ctx, hopLimits(c.Settings))
 	lists := &fleet{hops: hops, known: make(chan struct{})}
 	watch := discovery.New(c.Discovery, lists)
@@ -168,7 +168,7 @@
 
 // pause is asked of callers that are refused unseen, where the settings allow it.
 func pause(l balance.Limits) time.Duration {
-	if !l.RetryAfter {
+	if !l.SendRetryAfter {
 		return 0
 	}
 	return min(refused, l.MaxRetryAfter)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -43,7 +43,7 @@
 		}
 		names[class.Name] = true
 	}
-	if err := s.Check(); err != nil {
+	if err := s.Validate(); err != nil {
 		return fmt.Errorf("check: %w", err)
 	}
 	return nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -123,7 +123,7 @@
 			return len(c.Settings.Classes) == 2 && c.Settings.Classes[1].Name == "feed_new"
 		}},
 		{class, `{"effect":"non_idempotent","name":"other","deadline":3,"objective":1,"more":7}`, nil, func(c Config) bool {
-			return len(c.Settings.Classes) == 1 && c.Settings.Classes[0].Effect == balance.Unsafe
+			return len(c.Settings.Classes) == 1 && c.Settings.Classes[0].Idempotency == balance.NonIdempotent
 		}},
 		{`"tiers":[]`, `"tiers":["x"],"further":{}`, nil, func(c Config) bool { return true }},
 		{`{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}`, ``, nil,
--- a/internal/discovery/entry.go
+++ b/internal/discovery/entry.go
@@ -103,5 +103,5 @@
 		i.HostPort = "" // it stays at the address that is known
 	}
 	return Entry{Addr: i.HostPort, ServerEntry: balance.ServerEntry{ID: i.ID, Zone: i.Zone, Cell: i.Cell,
-		State: state, Started: time.Duration(i.StartedMs) * time.Millisecond}}, nil
+		State: state, StartedAt: time.Duration(i.StartedMs) * time.Millisecond}}, nil
 }
--- a/internal/discovery/roster_test.go
+++ b/internal/discovery/roster_test.go
@@ -23,7 +23,7 @@
 
 func TestDecode(t *testing.T) {
 	s1 := Entry{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3,
-		Started: 1796122725 * time.Second}}
+		StartedAt: 1796122725 * time.Second}}
 	s2 := Entry{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining}}
 	gone := Entry{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
 	s9 := Entry{ServerEntry: balance.ServerEntry{ID: "s9", State: balance.Draining}}
@@ -36,7 +36,7 @@
 		{"changes with every field", `{"generation":42,"reset":false,"instances":[` + one + "," + two + `,{"instanceId":"s3","hostPort":"127.1.0.3:7070",` +
 			`"zone":"c","machineType":"m","cell":4,"lifecycle":"left","weight":2,"startedAtMs":7}]}`,
 			Update{balance.ListDelta, 42, []Entry{s1, s2, {Addr: "127.1.0.3:7070", ServerEntry: balance.ServerEntry{ID: "s3", Zone: "c", Cell: 4,
-				State: balance.Gone, Started: 7 * time.Millisecond}}}}},
+				State: balance.Gone, StartedAt: 7 * time.Millisecond}}}}},
 		{"nothing", `{"generation":42,"reset":false,"instances":[]}`, Update{balance.ListDelta, 42, nil}},
 		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
 		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -19,8 +19,8 @@
 }
 
 func (p *immediate) Probe(server string) {
-	load := balance.NoLoad
-	load.X0, load.Inflight = 0.1, 1e6 // one more connection weighs nothing
+	load := balance.EmptyLoadReport
+	load.Utilization, load.Inflight = 0.1, 1e6 // one more connection weighs nothing
 	go p.core.Probed(server, balance.OK, time.Millisecond, load)
 }
 
--- a/internal/dispatch/branches.go
+++ b/internal/dispatch/branches.go
@@ -21,10 +21,10 @@
 		e.open = true
 		e.trace.word("up")
 		if e.asked.At != "" {
-			c.handle(balance.OpenConn{Request: c.request(e), Server: server})
+			c.handle(balance.OpenConnection{Request: c.request(e), Server: server})
 		} else {
 			c.timed(e, server, balance.OK, latency)
-			c.handle(balance.Started{ID: e.asked.ID, Attempt: attempt, Server: server, Latency: latency})
+			c.handle(balance.ConnectionEstablished{ID: e.asked.ID, Attempt: attempt, Server: server, Latency: latency})
 		}
 		if e.early != nil {
 			e.early()
@@ -35,7 +35,7 @@
 // BranchEnded is told when a branch has ended without coming up. Its socket is
 // closed by then.
 func (c *Core) BranchEnded(item Item, attempt int, server string, outcome balance.Outcome,
-	latency time.Duration, load balance.Load) {
+	latency time.Duration, load balance.LoadReport) {
 	c.post(func() {
 		e := c.known(item)
 		if e != nil {
@@ -48,7 +48,7 @@
 		default:
 			c.timed(e, server, outcome, latency)
 			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: attempt, Server: server, Outcome: outcome,
-				Latency: latency, Load: load})
+				Latency: latency, LoadReport: load})
 		}
 	})
 }
@@ -61,7 +61,7 @@
 func (c *Core) backHome(e *entry, server string, outcome balance.Outcome) {
 	next := time.Now().Add(homeAgain)
 	gone := c.listed != nil && !c.listed[server]
-	if gone || outcome != balance.ConnectFailed && outcome != balance.Full || !next.Before(e.asked.Deadline) {
+	if gone || outcome != balance.ConnectFailed && outcome != balance.AtCapacity || !next.Before(e.asked.Deadline) {
 		c.drop(e.asked.ID, "failed")
 		e.item.Fail()
 		return
@@ -74,8 +74,8 @@
 }
 
 // Probed is told a probe's result.
-func (c *Core) Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load) {
+func (c *Core) Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport) {
 	c.post(func() {
-		c.handle(balance.ProbeAnswer{Server: server, Outcome: outcome, Latency: latency, Load: load})
+		c.handle(balance.ProbeResult{Server: server, Outcome: outcome, Latency: latency, LoadReport: load})
 	})
 }
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -54,10 +54,10 @@
 	server   string   // of its latest branch
 	attempts int
 	open     bool
-	early    func()         // its end, told before its start
-	route    *route.Route   // that it counts on; nil for none
-	bound    *balance.Bound // and where it may be drawn by it
-	trace    *trace         // nil where nobody reads it
+	early    func()                  // its end, told before its start
+	route    *route.Route            // that it counts on; nil for none
+	bound    *balance.ZoneConstraint // and where it may be drawn by it
+	trace    *trace                  // nil where nobody reads it
 }
 
 // New returns a Core for settings; Run starts it.
@@ -94,7 +94,7 @@
 			f()
 		case <-wake.C:
 		case <-look.C:
-			c.avoided.Store(int64(c.balancer.Avoided()))
+			c.avoided.Store(int64(c.balancer.AvoidedServers()))
 		}
 		for now := time.Now(); ; {
 			do, due := c.timers.due(now)
@@ -142,15 +142,15 @@
 			e.branches.Start(e.item, e.attempts, a.Server, deadline)
 			e.attempts++
 		}
-	case balance.Refuse:
+	case balance.Reject:
 		if e := c.drop(a.ID, "refused"); e != nil {
-			e.item.Refuse(a.Pause)
+			e.item.Refuse(a.RetryAfter)
 		}
 	case balance.Fail:
 		if e := c.drop(a.ID, "failed"); e != nil {
 			e.item.Fail()
 		}
-	case balance.Move:
+	case balance.Migrate:
 		if e := c.transactions[a.ID]; e != nil {
 			e.trace.word("moved")
 			e.item.Move()
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -57,10 +57,10 @@
 
 func startCore(t testing.TB, p Prober, r Roster) *Core {
 	t.Helper()
-	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, ListAsked: true, AskWithin: time.Second,
-		Classes: []balance.Class{{Name: "feed", Aim: 300 * time.Millisecond, Deadline: time.Second}},
-		Rules:   balance.Rules{DrainGrace: time.Second, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: time.Second},
-		Limits:  balance.Limits{Probes: true, MaxAttempts: 3}, Reports: balance.Reports{ByProbe: true}}, p, r)
+	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, SubscribeRequired: true, SubscribeTimeout: time.Second,
+		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: time.Second}},
+		Rules:   balance.Rules{DrainGrace: time.Second, SlowStartWindow: 20 * time.Second, InitialCapacity: 0.2, OverloadMultiple: 3, OverloadDuration: time.Second},
+		Limits:  balance.Limits{ProbesAllowed: true, MaxAttempts: 3}, LoadReporting: balance.LoadReporting{InProbeResults: true}}, p, r)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,21 +98,21 @@
 func TestAttempts(t *testing.T) {
 	c, p := start(t)
 	wait(t, p.asked) // the module asks for the list
-	load := balance.NoLoad
-	load.X0 = 0.1
+	load := balance.EmptyLoadReport
+	load.Utilization = 0.1
 	x := submit(c, p, Request{ID: "a"})
 	first := wait(t, p.probed)
 	c.Probed(first, balance.OK, time.Millisecond, load)
 	if s := wait(t, p.started); s != first {
 		t.Fatalf("probed %s, started at %s", first, s)
 	}
-	c.BranchEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.NoLoad)
+	c.BranchEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
 	second := wait(t, p.probed)
 	c.Probed(second, balance.OK, time.Millisecond, load)
 	if s := wait(t, p.started); s == first {
 		t.Fatalf("%s was tried again", s)
 	}
-	c.BranchEnded(x, 1, second, balance.Reset, time.Millisecond, balance.NoLoad)
+	c.BranchEnded(x, 1, second, balance.Reset, time.Millisecond, balance.EmptyLoadReport)
 	wait(t, x.done)
 	if len(p.started) > 0 {
 		t.Error("sent again after a reset")
@@ -122,7 +122,7 @@
 // A bound that leaves no next hop is the module's to answer, at once.
 func TestBoundReachesTheModule(t *testing.T) {
 	c, p := start(t)
-	wait(t, submit(c, p, Request{ID: "a", Bound: &balance.Bound{Zones: []balance.ZonePart{{Zone: "far", Share: 1}}}}).done)
+	wait(t, submit(c, p, Request{ID: "a", Bound: &balance.ZoneConstraint{Zones: []balance.ZoneShare{{Zone: "far", Share: 1}}}}).done)
 	if len(p.probed) > 0 {
 		t.Error("a next hop was drawn")
 	}
@@ -150,10 +150,10 @@
 		if s := wait(t, p.started); s != "s7" {
 			t.Fatalf("started at %s", s)
 		}
-		c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+		c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	}
 	wait(t, p.started)
-	c.BranchEnded(x, 0, "s7", balance.Reset, 0, balance.NoLoad)
+	c.BranchEnded(x, 0, "s7", balance.Reset, 0, balance.EmptyLoadReport)
 	wait(t, x.done)
 }
 
@@ -165,10 +165,10 @@
 	c.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
 	x := submit(c, p, Request{ID: "a", At: "s7"})
 	wait(t, p.started)
-	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	wait(t, p.started) // it is named: its process may be back in a moment
 	c.Listed(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
-	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.NoLoad)
+	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	select {
 	case <-x.done:
 	case s := <-p.started:
--- a/internal/dispatch/items.go
+++ b/internal/dispatch/items.go
@@ -11,17 +11,17 @@
 // Request is what a front tells of an item when it brings it. Package handover sends it to
 // another version of the process as JSON, so its keys must not change.
 type Request struct {
-	ID       string         `json:"ID"`
-	Class    string         `json:"Class"`
-	Key      string         `json:"Key"`
-	Group    string         `json:"Group"`
-	Tenant   string         `json:"Tenant"` // whose client it is; empty where nobody says
-	At       string         `json:"At"`     // the next hop that already holds it; empty if none
-	Hint     float64        `json:"Hint"`
-	Retry    bool           `json:"Retry"`
-	Returned bool           `json:"Returned"`
-	Bound    *balance.Bound `json:"Bound"`    // where it may be drawn; nil for anywhere
-	Deadline time.Time      `json:"Deadline"` // the final answer must be out by then
+	ID       string                  `json:"ID"`
+	Class    string                  `json:"Class"`
+	Key      string                  `json:"Key"`
+	Group    string                  `json:"Group"`
+	Tenant   string                  `json:"Tenant"` // whose client it is; empty where nobody says
+	At       string                  `json:"At"`     // the next hop that already holds it; empty if none
+	Hint     float64                 `json:"Hint"`
+	Retry    bool                    `json:"Retry"`
+	Returned bool                    `json:"Returned"`
+	Bound    *balance.ZoneConstraint `json:"Bound"`    // where it may be drawn; nil for anywhere
+	Deadline time.Time               `json:"Deadline"` // the final answer must be out by then
 }
 
 // Item is what is placed: a line transaction, a flow, a question of another proxy.
@@ -74,8 +74,8 @@
 	if e.bound != nil {
 		bound = e.bound
 	}
-	return balance.Request{ID: r.ID, Class: r.Class, Group: r.Group, Hint: r.Hint,
-		Retry: r.Retry, Returned: r.Returned, Deadline: c.clock.At(r.Deadline), Bound: bound}
+	return balance.Request{ID: r.ID, Class: r.Class, Group: r.Group, LoadHint: r.Hint,
+		ClientRetry: r.Retry, Reconnecting: r.Returned, Deadline: c.clock.At(r.Deadline), Constraint: bound}
 }
 
 // CallerGone is told when a caller has left before its answer, or was turned away.
@@ -99,7 +99,7 @@
 		end := func() {
 			c.drop(e.asked.ID, outcomes[outcome])
 			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: e.attempts - 1, Server: e.server,
-				Outcome: outcome, Final: true, Load: balance.NoLoad})
+				Outcome: outcome, Final: true, LoadReport: balance.EmptyLoadReport})
 		}
 		if !e.open {
 			// A front may have what stands as soon as its next hop says so: it may
@@ -124,7 +124,7 @@
 		e := &entry{item: item, asked: r, server: server, attempts: 1, open: true}
 		c.transactions[r.ID] = e
 		c.adopted(e)
-		c.handle(balance.OpenConn{Request: c.request(e), Server: server})
+		c.handle(balance.OpenConnection{Request: c.request(e), Server: server})
 		taken <- true
 	})
 	select {
--- a/internal/dispatch/module.go
+++ b/internal/dispatch/module.go
@@ -12,7 +12,7 @@
 func (c *Core) Retune(set balance.Settings) {
 	c.post(func() {
 		c.classes = names(set.Classes)
-		c.handle(balance.Retuned{Settings: set})
+		c.handle(balance.SettingsChanged{Settings: set})
 	})
 }
 
@@ -21,13 +21,13 @@
 func (c *Core) Avoided() int { return int(c.avoided.Load()) }
 
 // Recall is what the module has learned, and Learn tells it what another process's has.
-func (c *Core) Recall() balance.Memory { return ask(c, c.balancer.Recall) }
+func (c *Core) Recall() balance.LearnedState { return ask(c, c.balancer.LearnedState) }
 
 // Spending is what the module has spent of the fleet's budgets, and Grant tells it what it
 // may spend.
-func (c *Core) Spending() balance.Spending { return ask(c, c.balancer.Spending) }
+func (c *Core) Spending() balance.QuotaUsage { return ask(c, c.balancer.QuotaUsage) }
 
-func (c *Core) Grant(g balance.Granted) { c.post(func() { c.handle(g) }) }
+func (c *Core) Grant(g balance.QuotaLease) { c.post(func() { c.handle(g) }) }
 
 // ask puts a question to the module; the answer is empty once the Core has ended.
 func ask[T any](c *Core, question func(now time.Duration) T) (answer T) {
@@ -40,6 +40,6 @@
 	return answer
 }
 
-func (c *Core) Learn(m balance.Memory) {
-	c.post(func() { c.handle(balance.Learned{Memory: m}) })
+func (c *Core) Learn(m balance.LearnedState) {
+	c.post(func() { c.handle(balance.InheritedState{LearnedState: m}) })
 }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -16,9 +16,9 @@
 	// Admit returns the route that an item counts on from now on, nil for none, and where
 	// it may be drawn; nil for anywhere. The bound of one that there is no room for allows
 	// nothing.
-	Admit(r *Request) (*route.Route, *balance.Bound)
+	Admit(r *Request) (*route.Route, *balance.ZoneConstraint)
 	// Adopt is Admit for what stands already.
-	Adopt(r *Request) (*route.Route, *balance.Bound)
+	Adopt(r *Request) (*route.Route, *balance.ZoneConstraint)
 	// Spent counts attempts beyond an item's first, and probes made for it.
 	Spent(r *route.Route, again, probes int)
 	// Closed is told once of each that was admitted or adopted onto a route.
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -15,7 +15,7 @@
 
 var onRoute = &route.Route{Name: "acme:r"}
 
-func (r *routed) Admit(q *Request) (*route.Route, *balance.Bound) {
+func (r *routed) Admit(q *Request) (*route.Route, *balance.ZoneConstraint) {
 	if q.Tenant != "acme" {
 		return nil, nil
 	}
@@ -23,7 +23,7 @@
 	return onRoute, nil
 }
 
-func (r *routed) Adopt(q *Request) (*route.Route, *balance.Bound) {
+func (r *routed) Adopt(q *Request) (*route.Route, *balance.ZoneConstraint) {
 	r.notes = append(r.notes, "adopt "+q.ID)
 	return onRoute, nil
 }
@@ -39,12 +39,12 @@
 	r := &routed{}
 	c, p := start(t)
 	c.Inside(func(time.Duration) { c.Router = r })
-	load := balance.NoLoad
-	load.X0 = 0.1
+	load := balance.EmptyLoadReport
+	load.Utilization = 0.1
 	x := submit(c, p, Request{ID: "a", Tenant: "acme"})
 	first := wait(t, p.probed)
 	c.Probed(first, balance.OK, time.Millisecond, load)
-	c.BranchEnded(x, 0, wait(t, p.started), balance.ConnectFailed, time.Millisecond, balance.NoLoad)
+	c.BranchEnded(x, 0, wait(t, p.started), balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
 	second := wait(t, p.probed)
 	c.Probed(second, balance.OK, time.Millisecond, load)
 	c.BranchUp(x, 1, wait(t, p.started), time.Millisecond)
--- a/internal/dispatch/timed.go
+++ b/internal/dispatch/timed.go
@@ -21,7 +21,7 @@
 	switch {
 	case c.timer == nil || e.route == nil || e.route.Contract == "" || took <= 0:
 		return
-	case outcome == balance.Cancelled || outcome == balance.Moot:
+	case outcome == balance.Cancelled || outcome == balance.NotSent:
 		return
 	case outcome != balance.OK:
 		took = Lost
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -11,9 +11,9 @@
 	"coralrelay/balance"
 )
 
-var outcomes = map[balance.Outcome]string{balance.OK: "ok", balance.Errored: "error", balance.Full: "full",
+var outcomes = map[balance.Outcome]string{balance.OK: "ok", balance.Errored: "error", balance.AtCapacity: "full",
 	balance.TimedOut: "timed out", balance.ConnectFailed: "not connected", balance.Reset: "reset",
-	balance.Cancelled: "cancelled", balance.Moot: "not sent"}
+	balance.Cancelled: "cancelled", balance.NotSent: "not sent"}
 
 // trace is what the line says. A nil one costs nothing: debug lines were off when its
 // transaction came.
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -23,12 +23,12 @@
 			t.Fatal(err)
 		}
 		c, p := start(t)
-		load := balance.NoLoad
-		load.X0 = 0.1
+		load := balance.EmptyLoadReport
+		load.Utilization = 0.1
 		x := submit(c, p, Request{ID: "followed"})
 		for attempt, o := range []balance.Outcome{balance.ConnectFailed, balance.Reset} {
 			c.Probed(wait(t, p.probed), balance.OK, time.Millisecond, load)
-			c.BranchEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.NoLoad)
+			c.BranchEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.EmptyLoadReport)
 		}
 		wait(t, x.done)
 		c.Recall() // what was told before it is done
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -157,9 +157,9 @@
 
 // Answer takes what the node has said. The node's clock is the machine's.
 func (a *Agent) Answer(s agentapi.Said) agentapi.Told {
-	g := a.Member.Answer(s.Spending)
-	g.Until -= a.Offset
-	told := agentapi.Told{Granted: g}
+	g := a.Member.Answer(s.QuotaUsage)
+	g.TokensExpireAt -= a.Offset
+	told := agentapi.Told{QuotaLease: g}
 	if a.Accounts != nil && a.Record != nil {
 		a.tables.hear(&s)
 		a.tables.tell(&s, &told)
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -28,7 +28,7 @@
 		time.Sleep(25 * time.Millisecond)
 		w.hear(seq + 1)
 		time.Sleep(25 * time.Millisecond)
-		line, err := json.Marshal(agentapi.Said{Spending: w.spending()})
+		line, err := json.Marshal(agentapi.Said{QuotaUsage: w.spending()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -40,7 +40,7 @@
 		if err := json.Unmarshal([]byte(answer), &told); err != nil {
 			t.Fatal(err)
 		}
-		w.half = told.Half
+		w.half = told.Period
 		if now, err := json.Marshal(told.Zones); err != nil || string(now) != last {
 			if w.write("node", "%s", line); seq > 0 {
 				w.out.Truncate(w.out.Len() - len(line) - 1)
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -134,11 +134,11 @@
 }
 
 // spending is what the node says: it sees what all see.
-func (w *world) spending() (sp balance.Spending) {
-	sp.Half = w.half
+func (w *world) spending() (sp balance.QuotaUsage) {
+	sp.Period = w.half
 	for _, z := range []string{"a", "b", "c"} {
 		for i := range 2 {
-			sp.Servers = append(sp.Servers, balance.Spent{ID: fmt.Sprint("s-", z, i), Zone: z, Load: 0.4, Asked: 5, Failed: 5 * w.failed[z]})
+			sp.Servers = append(sp.Servers, balance.ServerUsage{ID: fmt.Sprint("s-", z, i), Zone: z, Load: 0.4, RecentAttempts: 5, RecentFailures: 5 * w.failed[z]})
 		}
 	}
 	return sp
--- a/internal/fleet/agentapi/link_test.go
+++ b/internal/fleet/agentapi/link_test.go
@@ -15,7 +15,9 @@
 // agent answers with what it is asked.
 type agent struct{}
 
-func (agent) Answer(s Said) Told { return Told{Granted: balance.Granted{Retries: s.Firsts}} }
+func (agent) Answer(s Said) Told {
+	return Told{QuotaLease: balance.QuotaLease{RetryBudget: s.FirstAttempts}}
+}
 func (agent) Operator(_ context.Context, a Ask) (any, error) {
 	if a.Ask == "lost" {
 		return nil, &Refusal{Text: "who knows", Unknown: true}
@@ -34,7 +36,7 @@
 	served := make(chan error, 1)
 	go func() { served <- Serve(ctx, l, agent{}) }()
 	told, lost := make(chan Told, 100), make(chan error, 100)
-	node := &Link{Addr: addr, Say: func() (s Said) { s.Firsts = 3; return s },
+	node := &Link{Addr: addr, Say: func() (s Said) { s.FirstAttempts = 3; return s },
 		Take: func(g Told) { told <- g }, Lost: func(err error) { lost <- err }}
 	ended := make(chan struct{})
 	go func() { defer close(ended); node.Run(ctx) }()
@@ -61,7 +63,7 @@
 		t.Error("a line without an end is taken")
 	}
 	for range cap(told) {
-		if g := <-told; g.Retries != 3 {
+		if g := <-told; g.RetryBudget != 3 {
 			t.Fatalf("%+v", g)
 		}
 		if len(told) == 0 {
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -21,11 +21,11 @@
 
 func storedSaid() Said {
 	return Said{
-		Spending: balance.Spending{
-			Half: 101, Firsts: 102.5, Retries: 103.5,
-			Servers: []balance.Spent{{ID: "server-a", Zone: "zone-a", Load: 0.125, Started: 104, Cold: true,
-				Part: 105.5, Used: 106, Asked: 107.5, Failed: 108.5}},
-			Zones: []balance.ZoneSpent{{Zone: "zone-b", Used: 109}},
+		QuotaUsage: balance.QuotaUsage{
+			Period: 101, FirstAttempts: 102.5, Retries: 103.5,
+			Servers: []balance.ServerUsage{{ID: "server-a", Zone: "zone-a", Load: 0.125, StartedAt: 104, WarmingUp: true,
+				ColdBudget: 105.5, Used: 106, RecentAttempts: 107.5, RecentFailures: 108.5}},
+			Zones: []balance.ZoneUsage{{Zone: "zone-b", Used: 109}},
 		},
 		Table: 110, Toward: 111, Part: 112, Deal: 113, Piece: 114, Even: 115,
 		Uses: &account.Use{Member: "node-a", At: 116, Half: 117,
@@ -42,10 +42,10 @@
 func storedTold() Told {
 	returned, retry := true, true
 	return Told{
-		Granted: balance.Granted{
-			Half: 201, Until: 202, For: 203, Retries: 204.5, Shunned: []string{"server-a", "server-b"}, Over: 0.25,
-			Servers: []balance.Grant{{ID: "server-c", Started: 205, Tokens: 206}},
-			Zones:   []balance.ZoneGrant{{Zone: "zone-a", Share: 0.5, Tokens: 207}},
+		QuotaLease: balance.QuotaLease{
+			Period: 201, TokensExpireAt: 202, LeaseDuration: 203, RetryBudget: 204.5, EjectedServers: []string{"server-a", "server-b"}, ShedFraction: 0.25,
+			Servers: []balance.ServerQuota{{ID: "server-c", StartedAt: 205, Tokens: 206}},
+			Zones:   []balance.ZoneQuota{{Zone: "zone-a", Share: 0.5, Tokens: 207}},
 		},
 		Table: &route.Wire{Index: 208, Whole: true, Since: 209,
 			Set: []route.Entry{{Name: "r", Owner: "acme/web",
--- a/internal/fleet/agentapi/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -32,7 +32,7 @@
 // those of the deal that the node had.
 type (
 	Said struct {
-		balance.Spending
+		balance.QuotaUsage
 		Table     uint64       `json:"table,omitempty"`     // index of the table that the node has
 		Toward    uint64       `json:"toward,omitempty"`    // of the one that it is being told,
 		Part      int          `json:"part,omitempty"`      // of which it has so many parts
@@ -44,7 +44,7 @@
 		Contracts uint64       `json:"contracts,omitempty"` // version of those that the node counts by
 	}
 	Told struct {
-		balance.Granted
+		balance.QuotaLease
 		Table    *route.Wire     `json:"table,omitempty"`    // nil for no news
 		Parts    int             `json:"parts,omitempty"`    // of the table's news, all told
 		Rights   *account.Rights `json:"rights,omitempty"`   // nil for no news
--- a/internal/fleet/gossip/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -76,15 +76,15 @@
 }
 
 // Answer takes what the node has spent and returns what it may spend now.
-func (a *Agent) Answer(sp balance.Spending) balance.Granted {
+func (a *Agent) Answer(sp balance.QuotaUsage) balance.QuotaLease {
 	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.own(now, sp)
 	a.forget(now)
 	half, _, end := a.cfg.Half(now)
-	g := balance.Granted{Half: half, Until: end, For: binds, Retries: a.state.Retries(now), Over: a.given.Over}
-	old := a.half == half && sp.Half < half // a new process of the node: the old one had this half's tokens
+	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.Retries(now), ShedFraction: a.given.Over}
+	old := a.half == half && sp.Period < half // a new process of the node: the old one had this half's tokens
 	for _, b := range a.given.Bounds {
 		g.Zones = append(g.Zones, a.zoneGrant(now, b, old))
 	}
@@ -92,16 +92,16 @@
 		return g
 	}
 	for _, t := range a.state.Deal(now) {
-		g.Servers = append(g.Servers, balance.Grant{ID: t.ID, Started: time.Duration(t.Started) * time.Millisecond, Tokens: t.Tokens})
+		g.Servers = append(g.Servers, balance.ServerQuota{ID: t.ID, StartedAt: time.Duration(t.Started) * time.Millisecond, Tokens: t.Tokens})
 	}
 	for _, s := range a.state.Shunned(now) {
-		g.Shunned = append(g.Shunned, s.ID)
+		g.EjectedServers = append(g.EjectedServers, s.ID)
 	}
 	return g
 }
 
-func (a *Agent) zoneGrant(now time.Duration, b zonestatus.Bound, spent bool) balance.ZoneGrant {
-	g := balance.ZoneGrant{Zone: b.Zone, Share: b.Share, Tokens: -1}
+func (a *Agent) zoneGrant(now time.Duration, b zonestatus.Bound, spent bool) balance.ZoneQuota {
+	g := balance.ZoneQuota{Zone: b.Zone, Share: b.Share, Tokens: -1}
 	if b.Rate > 0 {
 		if g.Tokens = 0; !spent {
 			g.Tokens = a.state.Rate(now, quota.Zone(b.Zone), b.Rate)
@@ -111,24 +111,24 @@
 }
 
 // own makes this member's report of what its node says, and spreads it.
-func (a *Agent) own(now time.Duration, sp balance.Spending) {
-	if sp.Half > a.half {
-		if a.prior = a.spent; sp.Half > a.half+1 {
+func (a *Agent) own(now time.Duration, sp balance.QuotaUsage) {
+	if sp.Period > a.half {
+		if a.prior = a.spent; sp.Period > a.half+1 {
 			a.prior = map[quota.Server]int{}
 		}
-		a.half, a.spent = sp.Half, map[quota.Server]int{}
+		a.half, a.spent = sp.Period, map[quota.Server]int{}
 	}
 	a.seq++
-	w := word{Report: quota.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.Firsts, Retries: sp.Retries},
+	w := word{Report: quota.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.FirstAttempts, Retries: sp.Retries},
 		Zone: a.Zone, Index: a.given.Index, Sights: sights(sp.Servers)}
 	for _, x := range sp.Servers {
-		s := quota.Server{ID: x.ID, Started: x.Started.Milliseconds()}
-		if sp.Half == a.half && x.Used > 0 {
+		s := quota.Server{ID: x.ID, Started: x.StartedAt.Milliseconds()}
+		if sp.Period == a.half && x.Used > 0 {
 			a.spent[s] = x.Used
 		}
-		if x.Asked >= asked || x.Cold {
-			u := quota.Use{Server: s, Cold: x.Cold, Part: x.Part, Asked: x.Asked, Failed: x.Failed}
-			if x.Cold { // tokens are for cold ones alone
+		if x.RecentAttempts >= asked || x.WarmingUp {
+			u := quota.Use{Server: s, Cold: x.WarmingUp, Part: x.ColdBudget, Asked: x.RecentAttempts, Failed: x.RecentFailures}
+			if x.WarmingUp { // tokens are for cold ones alone
 				u.Spent, u.Prior = a.spent[s], a.prior[s]
 			}
 			w.Uses = append(w.Uses, u)
@@ -136,7 +136,7 @@
 	}
 	for _, z := range sp.Zones {
 		s := quota.Zone(z.Zone)
-		if sp.Half == a.half && z.Used > 0 {
+		if sp.Period == a.half && z.Used > 0 {
 			a.spent[s] = z.Used
 		}
 		if u := (quota.Use{Server: s, Spent: a.spent[s], Prior: a.prior[s]}); u.Spent+u.Prior > 0 {
--- a/internal/fleet/gossip/member_test.go
+++ b/internal/fleet/gossip/member_test.go
@@ -51,16 +51,16 @@
 		for range 2 { // two askers each
 			go func() {
 				for ctx.Err() == nil {
-					a.Answer(balance.Spending{Firsts: 10, Servers: []balance.Spent{{ID: fmt.Sprint("bad-", name == "stranger"), Asked: 5, Failed: 5},
-						{ID: "cold", Cold: true, Part: float64(i + 1), Asked: 1}}})
+					a.Answer(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: fmt.Sprint("bad-", name == "stranger"), RecentAttempts: 5, RecentFailures: 5},
+						{ID: "cold", WarmingUp: true, ColdBudget: float64(i + 1), RecentAttempts: 1}}})
 				}
 			}()
 		}
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		for begun := time.Now(); ; {
-			g := agents[name].Answer(balance.Spending{Firsts: 10, Servers: []balance.Spent{{ID: "bad-false", Asked: 5, Failed: 5}}})
-			if g.Retries > 1.5 && slices.Equal(g.Shunned, []string{"bad-false"}) {
+			g := agents[name].Answer(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: "bad-false", RecentAttempts: 5, RecentFailures: 5}}})
+			if g.RetryBudget > 1.5 && slices.Equal(g.EjectedServers, []string{"bad-false"}) {
 				break // its own tenth of 10, and a third of what the two others have left
 			}
 			if time.Since(begun) > 10*time.Second {
--- a/internal/fleet/gossip/word.go
+++ b/internal/fleet/gossip/word.go
@@ -79,7 +79,7 @@
 // sights adds up by zones what a node saw of its next hops: of more zones than a report
 // takes, of those asked most. A next hop is bad where half of what it was asked has failed,
 // by this node's own doing: a verdict of others is no evidence from here.
-func sights(servers []balance.Spent) []sight {
+func sights(servers []balance.ServerUsage) []sight {
 	in := map[string]*sight{}
 	loads := map[string]int{}
 	for _, x := range servers {
@@ -92,16 +92,16 @@
 			in[x.Zone] = s
 		}
 		s.Servers++
-		x.Asked = max(x.Asked, x.Failed) // what ends late fades late
-		s.Asked += x.Asked
-		s.Failed += x.Failed
-		if x.Asked >= asked {
+		x.RecentAttempts = max(x.RecentAttempts, x.RecentFailures) // what ends late fades late
+		s.Asked += x.RecentAttempts
+		s.Failed += x.RecentFailures
+		if x.RecentAttempts >= asked {
 			s.Tried++
 		}
-		if x.Failed >= failing && 2*x.Failed >= x.Asked {
+		if x.RecentFailures >= failing && 2*x.RecentFailures >= x.RecentAttempts {
 			s.Bad++
 		}
-		if x.Cold {
+		if x.WarmingUp {
 			s.Cold++
 		}
 		if x.Load >= 0 { // the mean, one by one
--- a/internal/fleet/gossip/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -14,12 +14,12 @@
 // tokens and what was seen of 12 zones stays.
 func TestReportsFitADatagram(t *testing.T) {
 	w := word{Report: quota.Report{Member: strings.Repeat("n", 64), Boot: 1.7e18, Seq: 1e9, At: 1.7e18, Half: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
-	var servers []balance.Spent
+	var servers []balance.ServerUsage
 	for i := range 500 {
 		u := quota.Use{Server: quota.Server{ID: fmt.Sprintf("s-%08x", i), Started: 1_700_000_000_000}, Asked: float64(i)}
 		u.Cold, u.Failed = i == 7, float64(i%100/99)
 		w.Uses = append(w.Uses, u)
-		servers = append(servers, balance.Spent{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), Asked: 12.3456789, Failed: 1.0 / 3, Load: 1.0 / 7})
+		servers = append(servers, balance.ServerUsage{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), RecentAttempts: 12.3456789, RecentFailures: 1.0 / 3, Load: 1.0 / 7})
 	}
 	w.Uses = append(w.Uses, quota.Use{Server: quota.Zone("b"), Spent: 3})
 	w.Sights = sights(servers)
@@ -44,9 +44,9 @@
 }
 
 func TestSights(t *testing.T) {
-	got := sights([]balance.Spent{
-		{ID: "1", Zone: "b", Load: 0.5, Asked: 1.5, Failed: 4}, {ID: "2", Zone: "b", Load: -1, Asked: 4, Failed: 1, Cold: true},
-		{ID: "3", Zone: "b", Load: 0.25, Asked: 0.4, Failed: 0.4}, {ID: "4", Zone: "a", Load: -1}, {ID: "5"}})
+	got := sights([]balance.ServerUsage{
+		{ID: "1", Zone: "b", Load: 0.5, RecentAttempts: 1.5, RecentFailures: 4}, {ID: "2", Zone: "b", Load: -1, RecentAttempts: 4, RecentFailures: 1, WarmingUp: true},
+		{ID: "3", Zone: "b", Load: 0.25, RecentAttempts: 0.4, RecentFailures: 0.4}, {ID: "4", Zone: "a", Load: -1}, {ID: "5"}})
 	if want := []sight{{To: "a", Servers: 1, Load: -1}, {To: "b", Servers: 3, Bad: 1, Tried: 3, Asked: 8.4, Failed: 5.4, Load: 0.375, Cold: 1}}; !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
--- a/internal/hotrestart/giver.go
+++ b/internal/hotrestart/giver.go
@@ -57,7 +57,7 @@
 
 // Tell passes on what this process has learned. It is called before connections follow,
 // and takes no longer than one of them may.
-func (g *Sender) SendLearnedState(m balance.Memory) {
+func (g *Sender) SendLearnedState(m balance.LearnedState) {
 	until := time.Now().Add(within)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -72,7 +72,7 @@
 		if len(all) == 0 {
 			return
 		}
-		m = balance.Memory{} // the rest counts once
+		m = balance.LearnedState{} // the rest counts once
 	}
 }
 
--- a/internal/hotrestart/giver_test.go
+++ b/internal/hotrestart/giver_test.go
@@ -67,12 +67,12 @@
 	k := &taker{wants: true}
 	serve(t, dir, k)
 	g := give(t, dir)
-	m := balance.Memory{Age: time.Minute, Usual: 0.5, Answers: 16, Late: 3}
+	m := balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, RecentPlacements: 3}
 	for i := range 1000 {
-		m.Servers = append(m.Servers, balance.KnownServer{ID: fmt.Sprint("s-", i, strings.Repeat("x", 100)), Started: time.Hour, Load: -1, Sent: 1.0 / 3})
+		m.Servers = append(m.Servers, balance.LearnedServer{ID: fmt.Sprint("s-", i, strings.Repeat("x", 100)), StartedAt: time.Hour, Load: -1, RecentAttempts: 1.0 / 3})
 	}
 	g.SendLearnedState(m)
-	g.SendLearnedState(balance.Memory{Usual: 0.25, Answers: 1}) // of no fleet
+	g.SendLearnedState(balance.LearnedState{MeanLoad: 0.25, LoadSamples: 1}) // of no fleet
 	caller, _ := pair(t)
 	hop, _ := pair(t)
 	if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
@@ -80,17 +80,17 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var got balance.Memory
+	var got balance.LearnedState
 	for i, l := range k.learned {
 		if i == 0 {
 			got = l
 			got.Servers = nil
-		} else if l.Late != 0 || l.Age != 0 {
+		} else if l.RecentPlacements != 0 || l.Age != 0 {
 			t.Errorf("message %d has again what counts once: %+v", i, l)
 		}
 		got.Servers = append(got.Servers, l.Servers...)
 	}
-	if !reflect.DeepEqual(got, m) || k.learned[len(k.learned)-1].Usual != 0.25 {
+	if !reflect.DeepEqual(got, m) || k.learned[len(k.learned)-1].MeanLoad != 0.25 {
 		t.Errorf("%d servers arrived of %d, %+v", len(got.Servers), len(m.Servers), k.learned[0])
 	}
 }
--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -44,7 +44,7 @@
 
 // lesson is a message without connections.
 type lesson struct {
-	Learned *balance.Memory `json:"Learned"`
+	Learned *balance.LearnedState `json:"Learned"`
 }
 
 // servers is how many a message tells of: a fleet may be larger than a message.
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -20,7 +20,7 @@
 	given   []proxy.Standing
 	caller  []net.Conn
 	hop     []net.Conn
-	learned []balance.Memory
+	learned []balance.LearnedState
 }
 
 func (k *taker) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
@@ -32,7 +32,7 @@
 	return k.wants
 }
 
-func (k *taker) Learn(m balance.Memory) {
+func (k *taker) Learn(m balance.LearnedState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.learned = append(k.learned, m)
--- a/internal/hotrestart/limits_test.go
+++ b/internal/hotrestart/limits_test.go
@@ -27,7 +27,7 @@
 	return d.taker.Adopt(s, caller, hop)
 }
 
-func (d *dawdler) Learn(m balance.Memory) {
+func (d *dawdler) Learn(m balance.LearnedState) {
 	time.Sleep(within * 2 / 5)
 	d.taker.Learn(m)
 }
@@ -62,9 +62,9 @@
 	dir := t.TempDir()
 	serve(t, dir, &dawdler{taker{wants: true}})
 	g := give(t, dir)
-	m := balance.Memory{}
+	m := balance.LearnedState{}
 	for i := range 10 * servers {
-		m.Servers = append(m.Servers, balance.KnownServer{ID: fmt.Sprint("s", i)})
+		m.Servers = append(m.Servers, balance.LearnedServer{ID: fmt.Sprint("s", i)})
 	}
 	begun := time.Now()
 	g.SendLearnedState(m)
@@ -124,7 +124,7 @@
 	g := give(t, dir)
 	caller, client := pair(t)
 	hop, feed := pair(t)
-	g.SendLearnedState(balance.Memory{}) // so that the taker has accepted
+	g.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
 	free := fill(t)
 	for left := range 4 {
 		before := count()
--- a/internal/hotrestart/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -21,7 +21,7 @@
 
 func (n *node) CallerGone(dispatch.Item)                 {}
 func (n *node) Ended(_ dispatch.Item, o balance.Outcome) { n.ended <- o }
-func (n *node) Learn(balance.Memory)                     {}
+func (n *node) Learn(balance.LearnedState)               {}
 
 func (n *node) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
 	n.asked <- struct{}{}
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -27,11 +27,11 @@
 	storedStanding = proxy.Standing{
 		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", At: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
-			Bound: &balance.Bound{Name: "acme/web", Zones: []balance.ZonePart{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, Rest: 0.125}},
+			Bound: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
 		Server: "s3", FromCaller: []byte("are"), FromHop: []byte("LOA"), Pending: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
-	storedMemory = balance.Memory{Age: time.Minute, Usual: 0.5, Answers: 16, Trip: 0.001, TripDev: 0.002, Late: 3, First: 4,
-		Hint: 0.25, Hints: 5, Servers: []balance.KnownServer{
-			{ID: "s1", Started: time.Hour, Load: 0.75, Each: 0.0625, Placed: 6, Faults: 7, Sent: 8}}}
+	storedMemory = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
+		MeanHint: 0.25, HintSamples: 5, Servers: []balance.LearnedServer{
+			{ID: "s1", StartedAt: time.Hour, Load: 0.75, LoadPerConnection: 0.0625, PlacedLoad: 6, Faults: 7, RecentAttempts: 8}}}
 )
 
 // stored returns a stored message.
--- a/internal/hotrestart/taker.go
+++ b/internal/hotrestart/taker.go
@@ -26,7 +26,7 @@
 // If it is false, the connections are the caller's to close.
 type Receiver interface {
 	Adopt(s proxy.Standing, caller, hop net.Conn) bool
-	Learn(m balance.Memory)
+	Learn(m balance.LearnedState)
 }
 
 // Serve takes connections at a name in a folder, until ctx ends. What an earlier process
--- a/internal/hotrestart/taker_test.go
+++ b/internal/hotrestart/taker_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	defer file.Close()
-	g.SendLearnedState(balance.Memory{}) // so that the taker has accepted
+	g.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
 	before := descriptors(t)
 	for name, m := range map[string]struct {
 		text string
--- a/internal/lineproto/line.go
+++ b/internal/lineproto/line.go
@@ -170,12 +170,12 @@
 
 // ParseReply reads a next hop's first answer and, where it ends with one, its
 // load report.
-func ParseReply(text []byte) (Reply, balance.Load) {
+func ParseReply(text []byte) (Reply, balance.LoadReport) {
 	word, rest, _ := bytes.Cut(text, []byte(" "))
 	switch string(word) {
 	case "UP":
 		if len(rest) > 0 {
-			return Up, balance.NoLoad
+			return Up, balance.EmptyLoadReport
 		}
 	case "BUSY":
 		return Busy, reportOrNone(rest)
@@ -184,24 +184,24 @@
 	case "BYE":
 		return Bye, reportOrNone(rest)
 	case Move:
-		return Moved, balance.NoLoad
+		return Moved, balance.EmptyLoadReport
 	}
-	return Malformed, balance.NoLoad
+	return Malformed, balance.EmptyLoadReport
 }
 
-func reportOrNone(rest []byte) balance.Load {
+func reportOrNone(rest []byte) balance.LoadReport {
 	l, err := ParseReport(rest)
 	if err != nil {
-		return balance.NoLoad
+		return balance.EmptyLoadReport
 	}
 	return l
 }
 
 // ParseStats reads the answer to STATS.
-func ParseStats(text []byte) (balance.Load, error) {
+func ParseStats(text []byte) (balance.LoadReport, error) {
 	word, rest, _ := bytes.Cut(text, []byte(" "))
 	if string(word) != Pong {
-		return balance.NoLoad, fmt.Errorf("stats: %.40q is no %s", text, Pong)
+		return balance.EmptyLoadReport, fmt.Errorf("stats: %.40q is no %s", text, Pong)
 	}
 	return ParseReport(rest)
 }
@@ -210,29 +210,29 @@
 // settings' report.fields use at the site, or under the protocol's own; read
 // under one spelling only, a report loses fields without a word. Others are
 // passed over.
-func ParseReport(text []byte) (balance.Load, error) {
-	l := balance.NoLoad
+func ParseReport(text []byte) (balance.LoadReport, error) {
+	l := balance.EmptyLoadReport
 	if len(text) == 0 {
 		return l, nil
 	}
 	for pair := range bytes.SplitSeq(text, []byte(",")) {
 		name, value, ok := bytes.Cut(pair, []byte("="))
 		if !ok {
-			return balance.NoLoad, fmt.Errorf("load report: %.40q is no name and value", pair)
+			return balance.EmptyLoadReport, fmt.Errorf("load report: %.40q is no name and value", pair)
 		}
 		v, err := number(string(value))
 		if err != nil || v < 0 {
-			return balance.NoLoad, fmt.Errorf("load report: %s: %.40q is no load", name, value)
+			return balance.EmptyLoadReport, fmt.Errorf("load report: %s: %.40q is no load", name, value)
 		}
 		switch string(name) {
 		case "inflight", "outstanding":
 			l.Inflight = v
 		case "util", "utilization":
-			l.Util = v
+			l.CPUUtilization = v
 		case "latency_ms", "recent_ms":
-			l.Latency = v
+			l.LatencyMillis = v
 		case "x0":
-			l.X0 = v
+			l.Utilization = v
 		}
 	}
 	return l, nil
--- a/internal/lineproto/line_test.go
+++ b/internal/lineproto/line_test.go
@@ -78,22 +78,22 @@
 // outstanding and recent_ms, not inflight and latency_ms) and under the
 // protocol's own in its examples.
 func TestParseStats(t *testing.T) {
-	full := balance.Load{X0: 0.5, Util: 0.25, Inflight: 7, Latency: 12}
+	full := balance.LoadReport{Utilization: 0.5, CPUUtilization: 0.25, Inflight: 7, LatencyMillis: 12}
 	tests := []struct {
 		name, line string
-		want       balance.Load
+		want       balance.LoadReport
 		ok         bool
 	}{
 		{"the settings' names", "PONG outstanding=7,x0=0.5,recent_ms=12,backlog=2,utilization=0.25,throughput=40,errors_per_s=0.5,x1=1", full, true},
 		{"the protocol's names", "PONG inflight=7,x0=0.5,latency_ms=12,queue=2,util=0.25,qps=40,eps=0.5,x1=1", full, true},
-		{"names to come", "PONG mood=3", balance.NoLoad, true},
-		{"no report", "PONG", balance.NoLoad, true},
-		{"error", "ERR", balance.NoLoad, false},
-		{"not allowed", "NO", balance.NoLoad, false},
-		{"no value", "PONG x0", balance.NoLoad, false},
-		{"no number", "PONG x0=much", balance.NoLoad, false},
-		{"not finite", "PONG x0=NaN", balance.NoLoad, false},
-		{"negative", "PONG x0=-1", balance.NoLoad, false},
+		{"names to come", "PONG mood=3", balance.EmptyLoadReport, true},
+		{"no report", "PONG", balance.EmptyLoadReport, true},
+		{"error", "ERR", balance.EmptyLoadReport, false},
+		{"not allowed", "NO", balance.EmptyLoadReport, false},
+		{"no value", "PONG x0", balance.EmptyLoadReport, false},
+		{"no number", "PONG x0=much", balance.EmptyLoadReport, false},
+		{"not finite", "PONG x0=NaN", balance.EmptyLoadReport, false},
+		{"negative", "PONG x0=-1", balance.EmptyLoadReport, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -119,7 +119,7 @@
 			t.Errorf("%q: got %d, want %d", tt.line, got, tt.want)
 		}
 	}
-	if _, load := ParseReply([]byte("BUSY x0=0.5")); load.X0 != 0.5 {
+	if _, load := ParseReply([]byte("BUSY x0=0.5")); load.Utilization != 0.5 {
 		t.Errorf("report lost: %+v", load)
 	}
 }
--- a/internal/refmodel/list_discovery_test.go
+++ b/internal/refmodel/list_discovery_test.go
@@ -215,8 +215,8 @@
 
 // asked are the settings of one of n nodes that ask for their list.
 func asked(n int) balance.Settings {
-	return balance.Settings{Instances: n, Tick: 4 * ms, ListAsked: true, AskWithin: 10 * time.Second,
-		Classes: []balance.Class{{Name: "feed", Aim: 300 * ms, Deadline: time.Second}}, Limits: balance.Limits{MaxAttempts: 4}}
+	return balance.Settings{Instances: n, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10 * time.Second,
+		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * ms, Deadline: time.Second}}, Limits: balance.Limits{MaxAttempts: 4}}
 }
 
 // since is when a node's calls left, from a time on.
--- a/internal/refmodel/list_return_test.go
+++ b/internal/refmodel/list_return_test.go
@@ -57,7 +57,7 @@
 						length := 8*time.Second + time.Duration(seed)*310*ms
 						inBubble(t, falls(down, down, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
 							set := asked(n)
-							set.AskWithin = within
+							set.SubscribeTimeout = within
 							f := d.follow(ctx, t, "n", seed, set)
 							time.Sleep(20 * time.Second)
 							begun := d.hush()
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -114,7 +114,7 @@
 					return near, nil
 				}
 				set := asked(1)
-				set.Reports.ByProbe, set.Limits.Probes = true, true
+				set.LoadReporting.InProbeResults, set.Limits.ProbesAllowed = true, true
 				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noRoster{})
 				if err != nil {
 					t.Fatal(err)
--- a/internal/refmodel/scene_client_test.go
+++ b/internal/refmodel/scene_client_test.go
@@ -17,20 +17,20 @@
 // which ends while an attempt is out, or is being made.
 var classes = []balance.Class{
 	{Name: "feed"},
-	{Name: "once", Effect: balance.Unsafe},
-	{Name: "keyed", Effect: balance.Keyed, Window: 80 * ms},
-	{Name: "zoned", Effect: balance.Keyed, Scope: balance.ScopeZone, Window: 200 * ms},
-	{Name: "celled", Effect: balance.Keyed, Scope: balance.ScopeCell, Window: 200 * ms},
+	{Name: "once", Idempotency: balance.NonIdempotent},
+	{Name: "keyed", Idempotency: balance.IdempotencyKeyed, KeyWindow: 80 * ms},
+	{Name: "zoned", Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeZone, KeyWindow: 200 * ms},
+	{Name: "celled", Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeCell, KeyWindow: 200 * ms},
 }
 
 // repeats is what the book has to know of a class.
 func (s *scene) repeats(c balance.Class) refmodel.Repeats {
-	r := refmodel.Repeats{Never: c.Effect == balance.Unsafe}
-	if c.Effect != balance.Keyed {
+	r := refmodel.Repeats{Never: c.Idempotency == balance.NonIdempotent}
+	if c.Idempotency != balance.IdempotencyKeyed {
 		return r
 	}
-	r.Within = c.Window
-	switch c.Scope { // where a server is never changes
+	r.Within = c.KeyWindow
+	switch c.KeyScope { // where a server is never changes
 	case balance.ScopeZone:
 		r.Same = func(ran, to string) bool { return s.feeds[ran].entry.Zone == s.feeds[to].entry.Zone }
 	case balance.ScopeCell:
--- a/internal/refmodel/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -43,7 +43,7 @@
 	var list []string
 	for _, e := range entries {
 		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,"lifecycle":%q,"startedAtMs":%d}`,
-			e.ID, e.Addr, e.Zone, e.Cell, []string{"active", "leaving", "left"}[e.State], e.Started/ms))
+			e.ID, e.Addr, e.Zone, e.Cell, []string{"active", "leaving", "left"}[e.State], e.StartedAt/ms))
 	}
 	return strings.Join(list, ",")
 }
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -17,7 +17,7 @@
 func (s *scene) tell(kind balance.ListKind, entries ...discovery.Entry) {
 	s.note(func(b *refmodel.Book, now time.Duration) {
 		for _, e := range entries {
-			started := e.Started
+			started := e.StartedAt
 			if started > 0 { // on the book's clock
 				started -= time.Duration(s.begun.UnixNano())
 			}
@@ -92,7 +92,7 @@
 	e := &f.entry
 	e.State = []balance.ServerState{balance.Ready, balance.Ready, balance.Ready, balance.Draining, balance.Gone}[s.rng.IntN(5)]
 	if e.State == balance.Ready && s.rng.IntN(10) == 0 {
-		e.Started = time.Duration(time.Now().UnixNano())
+		e.StartedAt = time.Duration(time.Now().UnixNano())
 	}
 	told := *e
 	s.mu.Unlock()
@@ -121,7 +121,7 @@
 		conn.Close()
 	}
 	clear(f.conns)
-	f.entry.Started = time.Duration(time.Now().UnixNano())
+	f.entry.StartedAt = time.Duration(time.Now().UnixNano())
 	told := f.entry
 	s.mu.Unlock()
 	s.tell(balance.ListDelta, told)
--- a/internal/refmodel/scene_test.go
+++ b/internal/refmodel/scene_test.go
@@ -110,11 +110,11 @@
 	case beside: // of small servers, for which a few more are many
 		feeds, pause, fill, rate = 6, 60*ms, small, small/life.Seconds()
 	}
-	set := balance.Settings{Instances: 1, Tick: 4 * ms, ListAsked: true, AskWithin: 10 * time.Second,
+	set := balance.Settings{Instances: 1, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10 * time.Second,
 
-		Rules:   balance.Rules{DrainGrace: 300 * ms, Ramp: 20 * time.Second, ColdShare: 0.2, FallMultiple: 3, FallAfter: 1500 * ms},
-		Limits:  balance.Limits{Probes: true, MaxAttempts: 4, RetryAfter: true, MaxRetryAfter: time.Second},
-		Reports: balance.Reports{ByProbe: true}}
+		Rules:         balance.Rules{DrainGrace: 300 * ms, SlowStartWindow: 20 * time.Second, InitialCapacity: 0.2, OverloadMultiple: 3, OverloadDuration: 1500 * ms},
+		Limits:        balance.Limits{ProbesAllowed: true, MaxAttempts: 4, SendRetryAfter: true, MaxRetryAfter: time.Second},
+		LoadReporting: balance.LoadReporting{InProbeResults: true}}
 	s := &scene{t: t, begun: time.Now(), set: set, up: map[string]time.Time{}, front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
 		feeds: map[string]*feed{}, over: map[string]int{}, byClass: map[string]int{},
 		kind: k, room: fill,
@@ -123,7 +123,7 @@
 	s.board = board{s: s, watches: map[net.Conn]chan string{}}
 	s.count = &metrics.Registry{}
 	for _, c := range classes {
-		c.Aim, c.Deadline = 300*ms, time.Second
+		c.LatencyObjective, c.Deadline = 300*ms, time.Second
 		s.set.Classes = append(s.set.Classes, c)
 		s.count.AddClasses(c.Name)
 	}
--- a/internal/route/resolve.go
+++ b/internal/route/resolve.go
@@ -19,15 +19,15 @@
 //
 // Parts and shares are of transactions, and the module keeps parts of draws: a zone with
 // twice the next hops is drawn twice as often, so that it keeps half for the same part.
-func resolve(e *Entry, steered *Allocation, ready map[string]int) *balance.Bound {
+func resolve(e *Entry, steered *Allocation, ready map[string]int) *balance.ZoneConstraint {
 	if len(e.Parts) == 0 && len(e.Zones) == 0 && steered == nil {
 		return nil
 	}
-	bound := &balance.Bound{Name: e.Path()}
+	bound := &balance.ZoneConstraint{Name: e.Path()}
 	open := func(zone string) bool { return len(e.Zones) == 0 || slices.Contains(e.Zones, zone) }
 	if len(e.Parts) == 0 && steered == nil {
 		for _, zone := range e.Zones {
-			bound.Zones = append(bound.Zones, balance.ZonePart{Zone: zone, Share: 1})
+			bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: 1})
 		}
 		return bound
 	}
@@ -61,9 +61,9 @@
 		greatest = max(greatest, weights[zone])
 	}
 	for zone, w := range weights {
-		bound.Zones = append(bound.Zones, balance.ZonePart{Zone: zone, Share: w / greatest})
+		bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: w / greatest})
 	}
-	slices.SortFunc(bound.Zones, func(a, b balance.ZonePart) int {
+	slices.SortFunc(bound.Zones, func(a, b balance.ZoneShare) int {
 		if a.Zone < b.Zone {
 			return -1
 		}
--- a/internal/route/resolve_test.go
+++ b/internal/route/resolve_test.go
@@ -42,7 +42,7 @@
 		e := Entry{Name: "r", Owner: "acme", Zones: tt.zones, Parts: tt.parts, Contract: "c"}
 		got := "anywhere"
 		if bound := resolve(&e, tt.steered, tt.ready); bound != nil {
-			if got = fmt.Sprint(bound.Zones); bound.Rest != 0 || bound.Name != "acme:r" {
+			if got = fmt.Sprint(bound.Zones); bound.DefaultShare != 0 || bound.Name != "acme:r" {
 				t.Errorf("%s: %+v", tt.name, bound)
 			}
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -15,9 +15,9 @@
 type Route struct {
 	Name, Account string // path, and the account at its top
 	Contract      string
-	Bound         *balance.Bound // nil for anywhere
-	Over          float64        // of its set-ups, those that its contract has no room for
-	Levels        []string       // paths that it counts on: account, teams, the route itself
+	Bound         *balance.ZoneConstraint // nil for anywhere
+	Over          float64                 // of its set-ups, those that its contract has no room for
+	Levels        []string                // paths that it counts on: account, teams, the route itself
 }
 
 // Query is what a transaction shows. GroupHash counts where Group is not empty.
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -39,9 +39,9 @@
 		})
 		wg.Go(func() {
 			for fake.Sleep(ctx, 100*time.Millisecond) {
-				var sp balance.Spending
+				var sp balance.QuotaUsage
 				for _, id := range accused {
-					sp.Servers = append(sp.Servers, balance.Spent{ID: id, Asked: 50, Failed: 50})
+					sp.Servers = append(sp.Servers, balance.ServerUsage{ID: id, RecentAttempts: 50, RecentFailures: 50})
 				}
 				a.Answer(sp)
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,11 +54,11 @@
 	SlotNo int `json:"slotNo"`
 }
 
-var effects = map[string]balance.Effect{
-	"read_like": balance.Safe, "idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe,
+var effects = map[string]balance.Idempotency{
+	"read_like": balance.Idempotent, "idempotency_key": balance.IdempotencyKeyed, "non_idempotent": balance.NonIdempotent,
 }
 
-var scopes = map[string]balance.Scope{
+var scopes = map[string]balance.KeyScope{
 	"": balance.ScopeAll, "all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
 }
 
@@ -110,15 +110,15 @@
 	g, l := e.Guarantees, e.Limits
 	s := balance.Settings{
 		Instance: e.SlotNo, Instances: e.NInstances, Tick: Seconds(e.Granularity),
-		ListAsked: e.RegistryMode == "on_request", AskWithin: Seconds(g.AskWithin),
+		SubscribeRequired: e.RegistryMode == "on_request", SubscribeTimeout: Seconds(g.AskWithin),
 		Rules: balance.Rules{AnswerGrace: Seconds(g.GraceToAnswer), DrainGrace: Seconds(g.DrainGrace),
-			ColdShare: g.ColdFrom, Ramp: Seconds(g.RampTime), FallMultiple: g.TipMultiple,
-			FallAfter: Seconds(g.TipAfter)},
-		Limits: balance.Limits{Probes: l.Probing, RetryAfter: l.RetryAfter, MaxAttempts: l.MostTries,
+			InitialCapacity: g.ColdFrom, SlowStartWindow: Seconds(g.RampTime), OverloadMultiple: g.TipMultiple,
+			OverloadDuration: Seconds(g.TipAfter)},
+		Limits: balance.Limits{ProbesAllowed: l.Probing, SendRetryAfter: l.RetryAfter, MaxAttempts: l.MostTries,
 			MaxRetryAfter: Seconds(l.MaxRetryAfter), ConnectTimeout: Seconds(l.ConnectTimeout)},
-		Reports: balance.Reports{WithAnswers: e.Report.Via == "answers",
-			ByProbe: e.Report.Via == "answers" || e.Report.Via == "probe"},
-		Conns: balance.Conns{Groups: e.Domain.Groups},
+		LoadReporting: balance.LoadReporting{InOutcomes: e.Report.Via == "answers",
+			InProbeResults: e.Report.Via == "answers" || e.Report.Via == "probe"},
+		Connections: balance.ConnectionTraits{GroupAffinity: e.Domain.Groups},
 	}
 	for i, c := range e.Classes {
 		effect, ok := effects[c.Effect]
@@ -129,10 +129,10 @@
 		if !ok {
 			return s, fmt.Errorf("settings.classes[%d].group: %q is unknown", i, c.Group)
 		}
-		class := balance.Class{Name: c.Name, Aim: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
-			Effect: effect, Scope: scope, Window: Seconds(c.Window)}
+		class := balance.Class{Name: c.Name, LatencyObjective: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
+			Idempotency: effect, KeyScope: scope, KeyWindow: Seconds(c.Window)}
 		if i < len(e.Domain.MessageAim) {
-			class.MessageAim = Seconds(e.Domain.MessageAim[i])
+			class.MessageLatencyObjective = Seconds(e.Domain.MessageAim[i])
 		}
 		s.Classes = append(s.Classes, class)
 	}
@@ -148,9 +148,9 @@
 // not asked for. A pushed one is asked for from the first moment on; where the settings name
 // no time within which, what a silent watch has missed counts as told after toldAfter.
 func ForWatch(s balance.Settings) balance.Settings {
-	s.AskWithin = cmp.Or(s.AskWithin, toldAfter)
-	if !s.ListAsked {
-		s.ListAsked, s.AskNow = true, true
+	s.SubscribeTimeout = cmp.Or(s.SubscribeTimeout, toldAfter)
+	if !s.SubscribeRequired {
+		s.SubscribeRequired, s.SubscribeImmediately = true, true
 	}
 	return s
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,13 +78,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			s.ListAsked = mode == "on_request"
+			s.SubscribeRequired = mode == "on_request"
 			want := 10 * time.Second
 			if within == 0 {
 				want = toldAfter
 			}
-			if got := ForWatch(s); !got.ListAsked || got.AskNow != now || got.AskWithin != want {
-				t.Error(fmt.Sprint(mode, " ", within), got.ListAsked, got.AskNow, got.AskWithin)
+			if got := ForWatch(s); !got.SubscribeRequired || got.SubscribeImmediately != now || got.SubscribeTimeout != want {
+				t.Error(fmt.Sprint(mode, " ", within), got.SubscribeRequired, got.SubscribeImmediately, got.SubscribeTimeout)
 			}
 		}
 	}
--- a/internal/settings/stored_test.go
+++ b/internal/settings/stored_test.go
@@ -19,28 +19,28 @@
 	}
 	const ms = time.Millisecond
 	stored := func() balance.Settings {
-		return balance.Settings{Instance: 2, Instances: 9, Tick: 4 * ms, ListAsked: true, AskWithin: 10500 * ms,
+		return balance.Settings{Instance: 2, Instances: 9, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10500 * ms,
 			Classes: []balance.Class{
-				{Name: "feed", Aim: 110 * ms, Deadline: 1120 * ms, MessageAim: 140 * ms, Effect: balance.Safe, Scope: balance.ScopeAll, Window: 130 * ms},
-				{Name: "chat", Aim: 210 * ms, Deadline: 2220 * ms, MessageAim: 240 * ms, Effect: balance.Keyed, Scope: balance.ScopeZone, Window: 230 * ms},
-				{Name: "bulk", Aim: 310 * ms, Deadline: 3320 * ms, MessageAim: 340 * ms, Effect: balance.Unsafe, Scope: balance.ScopeCell, Window: 330 * ms}},
-			Rules: balance.Rules{AnswerGrace: 16 * ms, DrainGrace: 300 * ms, ColdShare: 0.2, Ramp: 20500 * ms,
-				FallMultiple: 3, FallAfter: 1500 * ms},
-			Limits:  balance.Limits{Probes: true, RetryAfter: true, MaxAttempts: 6, MaxRetryAfter: 1250 * ms, ConnectTimeout: 250 * ms},
-			Reports: balance.Reports{ByProbe: true},
-			Conns:   balance.Conns{Groups: true}}
+				{Name: "feed", LatencyObjective: 110 * ms, Deadline: 1120 * ms, MessageLatencyObjective: 140 * ms, Idempotency: balance.Idempotent, KeyScope: balance.ScopeAll, KeyWindow: 130 * ms},
+				{Name: "chat", LatencyObjective: 210 * ms, Deadline: 2220 * ms, MessageLatencyObjective: 240 * ms, Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeZone, KeyWindow: 230 * ms},
+				{Name: "bulk", LatencyObjective: 310 * ms, Deadline: 3320 * ms, MessageLatencyObjective: 340 * ms, Idempotency: balance.NonIdempotent, KeyScope: balance.ScopeCell, KeyWindow: 330 * ms}},
+			Rules: balance.Rules{AnswerGrace: 16 * ms, DrainGrace: 300 * ms, InitialCapacity: 0.2, SlowStartWindow: 20500 * ms,
+				OverloadMultiple: 3, OverloadDuration: 1500 * ms},
+			Limits:        balance.Limits{ProbesAllowed: true, SendRetryAfter: true, MaxAttempts: 6, MaxRetryAfter: 1250 * ms, ConnectTimeout: 250 * ms},
+			LoadReporting: balance.LoadReporting{InProbeResults: true},
+			Connections:   balance.ConnectionTraits{GroupAffinity: true}}
 	}
 	for _, tt := range []struct { // booleans one at a time, so that two that are exchanged are noticed
 		old, new string
 		change   func(s *balance.Settings)
 	}{
 		{"", "", func(*balance.Settings) {}},
-		{`"groups": true`, `"groups": false`, func(s *balance.Settings) { s.Conns.Groups = false }},
-		{`"probing": true`, `"probing": false`, func(s *balance.Settings) { s.Limits.Probes = false }},
-		{`"retryAfter": true`, `"retryAfter": false`, func(s *balance.Settings) { s.Limits.RetryAfter = false }},
-		{`"on_request"`, `"pushed"`, func(s *balance.Settings) { s.ListAsked = false }},
-		{`"probe"`, `"answers"`, func(s *balance.Settings) { s.Reports.WithAnswers = true }},
-		{`"probe"`, `"none"`, func(s *balance.Settings) { s.Reports.ByProbe = false }},
+		{`"groups": true`, `"groups": false`, func(s *balance.Settings) { s.Connections.GroupAffinity = false }},
+		{`"probing": true`, `"probing": false`, func(s *balance.Settings) { s.Limits.ProbesAllowed = false }},
+		{`"retryAfter": true`, `"retryAfter": false`, func(s *balance.Settings) { s.Limits.SendRetryAfter = false }},
+		{`"on_request"`, `"pushed"`, func(s *balance.Settings) { s.SubscribeRequired = false }},
+		{`"probe"`, `"answers"`, func(s *balance.Settings) { s.LoadReporting.InOutcomes = true }},
+		{`"probe"`, `"none"`, func(s *balance.Settings) { s.LoadReporting.InProbeResults = false }},
 	} {
 		want := stored()
 		tt.change(&want)
--- a/internal/simproto/wire.go
+++ b/internal/simproto/wire.go
@@ -94,8 +94,8 @@
 
 // outcomes maps the wire's outcome codes; an unknown code counts as an error.
 var outcomes = map[int]balance.Outcome{
-	0: balance.Errored, 1: balance.OK, 2: balance.Full, 3: balance.TimedOut,
-	4: balance.ConnectFailed, 5: balance.Reset, 6: balance.Cancelled, 7: balance.Moot,
+	0: balance.Errored, 1: balance.OK, 2: balance.AtCapacity, 3: balance.TimedOut,
+	4: balance.ConnectFailed, 5: balance.Reset, 6: balance.Cancelled, 7: balance.NotSent,
 }
 
 var listKinds = map[string]balance.ListKind{
@@ -157,19 +157,19 @@
 	case "Demand":
 		d.Event = request(m)
 	case "Handover":
-		d.Event = balance.OpenConn{Request: request(m), Server: m.Server}
+		d.Event = balance.OpenConnection{Request: request(m), Server: m.Server}
 	case "Opened":
-		d.Event = balance.Started{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: settings.Seconds(m.Lag)}
+		d.Event = balance.ConnectionEstablished{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: settings.Seconds(m.Lag)}
 	case "Completed":
 		d.Event = balance.AttemptEnded{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Outcome: outcome(m.RC),
-			Latency: settings.Seconds(m.Lag), Final: m.Complete, Load: load(m.Report)}
+			Latency: settings.Seconds(m.Lag), Final: m.Complete, LoadReport: load(m.Report)}
 	case "Abandoned":
 		d.Event = balance.ClientGone{ID: m.Ref}
 	case "DeadlineHit":
 		d.Event = balance.TimerFired{Token: m.Ctx}
 	case "StatusBack":
-		d.Event = balance.ProbeAnswer{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
-			Load: load(m.Report)}
+		d.Event = balance.ProbeResult{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
+			LoadReport: load(m.Report)}
 	case "Progress": // servers' own reports tell more of loads and delays
 	case "Memo": // instances tell each other nothing
 	default:
@@ -179,10 +179,10 @@
 }
 
 func request(m *message) balance.Request {
-	q := balance.Request{ID: m.Ref, Class: m.Grade, Group: m.TeamID, Returned: m.CameBack,
-		Retry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
+	q := balance.Request{ID: m.Ref, Class: m.Grade, Group: m.TeamID, Reconnecting: m.CameBack,
+		ClientRetry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
 	if m.Cost != nil {
-		q.Hint = *m.Cost
+		q.LoadHint = *m.Cost
 	}
 	return q
 }
@@ -205,25 +205,25 @@
 			e.State = balance.Gone
 		}
 		if n.StartedAt != nil {
-			e.Started = settings.Seconds(*n.StartedAt)
+			e.StartedAt = settings.Seconds(*n.StartedAt)
 		}
 		list[i] = e
 	}
 	return list
 }
 
-func load(report map[string]float64) balance.Load {
-	l := balance.NoLoad
+func load(report map[string]float64) balance.LoadReport {
+	l := balance.EmptyLoadReport
 	for name, v := range report {
 		switch name {
 		case "x0":
-			l.X0 = v
+			l.Utilization = v
 		case "utilization":
-			l.Util = v
+			l.CPUUtilization = v
 		case "outstanding":
 			l.Inflight = v
 		case "recent_ms":
-			l.Latency = v
+			l.LatencyMillis = v
 		}
 	}
 	return l
@@ -238,14 +238,14 @@
 		if a.Timeout != 0 {
 			buf = span(append(buf, `,"timeout":`...), a.Timeout)
 		}
-	case balance.Refuse:
+	case balance.Reject:
 		buf = ref(head(buf, "Refuse", instance), a.ID)
-		if a.Pause > 0 {
-			buf = span(append(buf, `,"pause":`...), a.Pause)
+		if a.RetryAfter > 0 {
+			buf = span(append(buf, `,"pause":`...), a.RetryAfter)
 		}
 	case balance.Fail:
 		buf = ref(head(buf, "Abort", instance), a.ID)
-	case balance.Move:
+	case balance.Migrate:
 		buf = ref(head(buf, "Evict", instance), a.ID)
 	case balance.Probe:
 		buf = text(append(head(buf, "HealthCheck", instance), `,"server":`...), a.Server)
--- a/internal/simproto/wire_test.go
+++ b/internal/simproto/wire_test.go
@@ -39,33 +39,33 @@
 	return all[0].Deliveries[0]
 }
 
-func x0(v float64) balance.Load {
-	l := balance.NoLoad
-	l.X0 = v
+func x0(v float64) balance.LoadReport {
+	l := balance.EmptyLoadReport
+	l.Utilization = v
 	return l
 }
 
 func TestEvents(t *testing.T) {
-	all := balance.Load{X0: 0.5, Util: 0.25, Inflight: 7, Latency: 12}
+	all := balance.LoadReport{Utilization: 0.5, CPUUtilization: 0.25, Inflight: 7, LatencyMillis: 12}
 	tests := []struct {
 		name, line string
 		want       balance.Event
 	}{
 		{"request", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":true,"realm":"north","teamId":"p:g","midFlow":true,` +
 			`"grade":"chat","entity":"k:z","cost":0.25,"againByClient":true,"deadline":3.75}`,
-			balance.Request{ID: "c:one", Class: "chat", Group: "p:g", Hint: 0.25,
-				Returned: true, Retry: true, Deadline: 3750 * ms}},
+			balance.Request{ID: "c:one", Class: "chat", Group: "p:g", LoadHint: 0.25,
+				Reconnecting: true, ClientRetry: true, Deadline: 3750 * ms}},
 		{"request with nulls", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":false,"realm":null,"teamId":null,` +
 			`"midFlow":false,"grade":"chat","entity":null,"cost":null,"againByClient":false,"deadline":3.75,"novel":[1]}`,
 			balance.Request{ID: "c:one", Class: "chat", Deadline: 3750 * ms}},
 		{"request that came back", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":true,"grade":"chat","deadline":1}`,
-			balance.Request{ID: "c:one", Class: "chat", Returned: true, Deadline: time.Second}},
+			balance.Request{ID: "c:one", Class: "chat", Reconnecting: true, Deadline: time.Second}},
 		{"tenant as a number", `{"cmd":"Demand","who":2,"ref":"c:one","realm":0,"grade":"chat","deadline":1}`,
 			balance.Request{ID: "c:one", Class: "chat", Deadline: time.Second}},
 		{"open connection", `{"cmd":"Handover","who":2,"ref":"c:two","grade":"chat","server":"s.a","deadline":1}`,
-			balance.OpenConn{Request: balance.Request{ID: "c:two", Class: "chat", Deadline: time.Second}, Server: "s.a"}},
+			balance.OpenConnection{Request: balance.Request{ID: "c:two", Class: "chat", Deadline: time.Second}, Server: "s.a"}},
 		{"started", `{"cmd":"Opened","who":2,"ref":"c:one","hop":1,"server":"s.a","lag":0.009}`,
-			balance.Started{ID: "c:one", Attempt: 1, Server: "s.a", Latency: 9 * ms}},
+			balance.ConnectionEstablished{ID: "c:one", Attempt: 1, Server: "s.a", Latency: 9 * ms}},
 		{"load note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":1,"x":250000}`,
 			nil},
 		{"delay note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":2,"x":31.5}`,
@@ -74,18 +74,18 @@
 		{"attempt ended", `{"cmd":"Completed","who":2,"ref":"c:one","hop":1,"server":"s.a","rc":4,"lag":0.25,` +
 			`"complete":false,"report":null}`,
 			balance.AttemptEnded{ID: "c:one", Attempt: 1, Server: "s.a", Outcome: balance.ConnectFailed,
-				Latency: 250 * ms, Load: balance.NoLoad}},
+				Latency: 250 * ms, LoadReport: balance.EmptyLoadReport}},
 		{"attempt served with a report", `{"cmd":"Completed","who":2,"ref":"c:one","hop":0,"server":"s.a","rc":1,` +
 			`"lag":0.02,"complete":true,"report":{"x0":0.5}}`,
-			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.OK, Latency: 20 * ms, Final: true, Load: x0(0.5)}},
+			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.OK, Latency: 20 * ms, Final: true, LoadReport: x0(0.5)}},
 		{"outcome to come", `{"cmd":"Completed","who":2,"ref":"c:one","hop":0,"server":"s.a","rc":99,"lag":0}`,
-			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.Errored, Load: balance.NoLoad}},
+			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.Errored, LoadReport: balance.EmptyLoadReport}},
 		{"client gone", `{"cmd":"Abandoned","who":2,"ref":"c:one"}`, balance.ClientGone{ID: "c:one"}},
 		{"timer", `{"cmd":"DeadlineHit","who":2,"ctx":9223372036854775807}`,
 			balance.TimerFired{Token: 9223372036854775807}},
 		{"probe answer", `{"cmd":"StatusBack","who":2,"server":"s.a","rc":1,"lag":0.0014,"report":{"x0":0.5,"x1":1,` +
 			`"utilization":0.25,"outstanding":7,"backlog":2,"recent_ms":12,"throughput":40,"errors_per_s":0.5,"mood":3}}`,
-			balance.ProbeAnswer{Server: "s.a", Outcome: balance.OK, Latency: 1400 * time.Microsecond, Load: all}},
+			balance.ProbeResult{Server: "s.a", Outcome: balance.OK, Latency: 1400 * time.Microsecond, LoadReport: all}},
 		{"peer", `{"cmd":"Memo","who":2,"originPeer":5,"raw":"aGkgNw=="}`,
 			nil},
 		{"list of before", `{"cmd":"Update","who":2,"mode":"C","stamp":4,"table":null}`,
@@ -103,8 +103,8 @@
 }
 
 func TestOutcomes(t *testing.T) {
-	want := []balance.Outcome{balance.Errored, balance.OK, balance.Full, balance.TimedOut, balance.ConnectFailed,
-		balance.Reset, balance.Cancelled, balance.Moot}
+	want := []balance.Outcome{balance.Errored, balance.OK, balance.AtCapacity, balance.TimedOut, balance.ConnectFailed,
+		balance.Reset, balance.Cancelled, balance.NotSent}
 	for code, o := range want {
 		if got := outcome(code); got != o {
 			t.Errorf("code %d is %d, want %d", code, got, o)
@@ -127,7 +127,7 @@
 	}
 	want := []balance.Event{
 		balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{
-			{ID: "s.a", Zone: "north", Cell: 3, Started: 6500 * ms},
+			{ID: "s.a", Zone: "north", Cell: 3, StartedAt: 6500 * ms},
 			{ID: "s.b", Zone: "south", State: balance.Draining}}},
 		balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{
 			{ID: "s.c", Zone: "north", State: balance.Gone}}},
@@ -147,16 +147,16 @@
 		`"rampTime":23,"tipAfter":2,"tipMultiple":4},"limits":{"connectTimeout":0.25,"maxRetryAfter":1.5,"mostTries":6,`+
 		`"peers":true,"probing":true,"retryAfter":true,"secondCopies":false},"registryMode":"on_request",`+
 		`"report":{"fields":["x0"],"via":"answers"},"tenants":[{"name":"north"}],"weights":"rough","zone":"north","new":1}}`)
-	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * ms, ListAsked: true,
-		AskWithin: 10 * time.Second,
-		Classes: []balance.Class{{Name: "chat", Aim: 800 * ms, Deadline: 3200 * ms, MessageAim: 60 * ms,
-			Effect: balance.Keyed, Scope: balance.ScopeZone, Window: 5 * time.Second}},
-		Rules: balance.Rules{AnswerGrace: 8 * ms, DrainGrace: 2 * time.Second, ColdShare: 0.12, Ramp: 23 * time.Second,
-			FallMultiple: 4, FallAfter: 2 * time.Second},
-		Limits: balance.Limits{Probes: true, RetryAfter: true, MaxAttempts: 6,
+	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * ms, SubscribeRequired: true,
+		SubscribeTimeout: 10 * time.Second,
+		Classes: []balance.Class{{Name: "chat", LatencyObjective: 800 * ms, Deadline: 3200 * ms, MessageLatencyObjective: 60 * ms,
+			Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeZone, KeyWindow: 5 * time.Second}},
+		Rules: balance.Rules{AnswerGrace: 8 * ms, DrainGrace: 2 * time.Second, InitialCapacity: 0.12, SlowStartWindow: 23 * time.Second,
+			OverloadMultiple: 4, OverloadDuration: 2 * time.Second},
+		Limits: balance.Limits{ProbesAllowed: true, SendRetryAfter: true, MaxAttempts: 6,
 			MaxRetryAfter: 1500 * ms, ConnectTimeout: 250 * ms},
-		Reports: balance.Reports{WithAnswers: true, ByProbe: true},
-		Conns:   balance.Conns{Groups: true}}
+		LoadReporting: balance.LoadReporting{InOutcomes: true, InProbeResults: true},
+		Connections:   balance.ConnectionTraits{GroupAffinity: true}}
 	if d.Start == nil || d.Start.Err != nil || d.Start.Seed != 77 || !reflect.DeepEqual(d.Start.Settings, want) {
 		t.Errorf("got %+v\nwant %+v", d.Start, want)
 	}
@@ -210,10 +210,10 @@
 		{balance.Attempt{ID: "c:one", Server: "s.a", Timeout: 80 * ms},
 			`{"cmd":"Assign","who":3,"ref":"c:one","server":"s.a","timeout":0.080000}`},
 		{balance.Attempt{ID: "c:one", Server: "s.a"}, `{"cmd":"Assign","who":3,"ref":"c:one","server":"s.a"}`},
-		{balance.Refuse{ID: "c:one", Pause: 250 * ms}, `{"cmd":"Refuse","who":3,"ref":"c:one","pause":0.250000}`},
-		{balance.Refuse{ID: "c:one"}, `{"cmd":"Refuse","who":3,"ref":"c:one"}`},
+		{balance.Reject{ID: "c:one", RetryAfter: 250 * ms}, `{"cmd":"Refuse","who":3,"ref":"c:one","pause":0.250000}`},
+		{balance.Reject{ID: "c:one"}, `{"cmd":"Refuse","who":3,"ref":"c:one"}`},
 		{balance.Fail{ID: "c:one"}, `{"cmd":"Abort","who":3,"ref":"c:one"}`},
-		{balance.Move{ID: "c:one"}, `{"cmd":"Evict","who":3,"ref":"c:one"}`},
+		{balance.Migrate{ID: "c:one"}, `{"cmd":"Evict","who":3,"ref":"c:one"}`},
 		{balance.Probe{Server: "s.a"}, `{"cmd":"HealthCheck","who":3,"server":"s.a"}`},
 		{balance.SetTimer{Delay: 500 * ms, Token: 77}, `{"cmd":"SetAlarm","who":3,"fromNow":0.500000,"ctx":77}`},
 		{balance.Subscribe{}, `{"cmd":"KeepInformed","who":3,"enable":true}`},
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -44,7 +44,7 @@
 	CallerGone(item dispatch.Item)
 	Ended(item dispatch.Item, outcome balance.Outcome)
 	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
-	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
+	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
 }
 
 // Hops knows where next hops are, and which may be sent to.
@@ -421,7 +421,7 @@
 		if f.up(x, server, begun) {
 			f.core.BranchUp(x, attempt, server, 0) // nobody was asked
 		} else {
-			f.core.BranchEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.NoLoad)
+			f.core.BranchEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
 		}
 	})
 }
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -52,7 +52,7 @@
 	defer c.mu.Unlock()
 	c.placed[x] = server
 }
-func (c *chooser) BranchEnded(x dispatch.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.Load) {
+func (c *chooser) BranchEnded(x dispatch.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.LoadReport) {
 	c.mu.Lock()
 	again := c.again
 	c.mu.Unlock()
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -45,9 +45,9 @@
 // run makes the attempt. Unless it is up, its socket is closed on return. One whose
 // transaction is over meanwhile was called off, whatever came of its socket then: its
 // caller has left, and that speaks for no next hop. Told as a reset, it could.
-func (b *branch) run() (up bool, outcome balance.Outcome, load balance.Load) {
+func (b *branch) run() (up bool, outcome balance.Outcome, load balance.LoadReport) {
 	if b.hop == nil {
-		return false, balance.ConnectFailed, balance.NoLoad
+		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
 	up, outcome, load = b.attempt()
 	if !up && b.t.Context().Err() != nil {
@@ -56,10 +56,10 @@
 	return up, outcome, load
 }
 
-func (b *branch) attempt() (up bool, outcome balance.Outcome, load balance.Load) {
+func (b *branch) attempt() (up bool, outcome balance.Outcome, load balance.LoadReport) {
 	conn, err := b.hops.dial(b.t.Context(), b.hop.address(), b.deadline)
 	if err != nil {
-		return false, balance.ConnectFailed, balance.NoLoad
+		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
 	l := bufconn.New(conn)
 	stop := context.AfterFunc(b.t.Context(), func() { _ = conn.Close() })
@@ -72,7 +72,7 @@
 }
 
 // offer writes the first line and waits for the answer.
-func (b *branch) offer(l *bufconn.Leg, stop func() bool) (bool, balance.Outcome, balance.Load) {
+func (b *branch) offer(l *bufconn.Leg, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
 	now := time.Now()
 	// A dial may take long: what has come meanwhile counts, so it is looked at again just
 	// before the first byte. The caller may have left, in a moment in which nobody has
@@ -80,18 +80,18 @@
 	// have run before is no later than the end of its window, may have come.
 	if b.t.Context().Err() != nil || !now.Before(b.deadline) ||
 		b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
-		return false, balance.ConnectFailed, balance.NoLoad
+		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
 	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
-		return false, balance.ConnectFailed, balance.NoLoad // its last byte was not written
+		return false, balance.ConnectFailed, balance.EmptyLoadReport // its last byte was not written
 	}
 	b.t.Figures.Forwarded()
 	text, err := l.ReadText(b.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return false, balance.TimedOut, balance.NoLoad
+		return false, balance.TimedOut, balance.EmptyLoadReport
 	case err != nil:
-		return false, balance.Reset, balance.NoLoad
+		return false, balance.Reset, balance.EmptyLoadReport
 	}
 	reply, load := lineproto.ParseReply(text)
 	switch reply {
@@ -102,7 +102,7 @@
 		}
 		return false, balance.Cancelled, load
 	case lineproto.Busy:
-		return false, balance.Full, load
+		return false, balance.AtCapacity, load
 	case lineproto.Bye:
 		return false, balance.OK, load
 	case lineproto.Moved:
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -157,7 +157,7 @@
 	for i, what := range []string{"", "close", "PONG x0=77\r\n", "PON", "", ""} {
 		more <- what
 		h.Probe("s1")
-		if got := w.next(t); got.outcome != balance.OK || got.load.X0 != float64(i+1) {
+		if got := w.next(t); got.outcome != balance.OK || got.load.Utilization != float64(i+1) {
 			t.Fatalf("probe %d: told %+v", i+1, got)
 		}
 		if what != "" {
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -20,8 +20,8 @@
 type Watcher interface {
 	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
 	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome,
-		latency time.Duration, load balance.Load)
-	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.Load)
+		latency time.Duration, load balance.LoadReport)
+	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
 }
 
 // Limits bound what is spent on a next hop.
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -24,16 +24,16 @@
 type told struct {
 	up      bool
 	outcome balance.Outcome
-	load    balance.Load
+	load    balance.LoadReport
 }
 
 type watcher chan told
 
 func (w watcher) BranchUp(dispatch.Item, int, string, time.Duration) { w <- told{up: true} }
-func (w watcher) BranchEnded(_ dispatch.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.Load) {
+func (w watcher) BranchEnded(_ dispatch.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
 	w <- told{outcome: o, load: l}
 }
-func (w watcher) Probed(_ string, o balance.Outcome, _ time.Duration, l balance.Load) {
+func (w watcher) Probed(_ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
 	w <- told{outcome: o, load: l}
 }
 
@@ -104,7 +104,7 @@
 		want         told
 	}{
 		{"up", "UP r1\r\n", false, told{up: true}},
-		{"busy", "BUSY x0=0.5\r\n", false, told{outcome: balance.Full}},
+		{"busy", "BUSY x0=0.5\r\n", false, told{outcome: balance.AtCapacity}},
 		{"error", "ERR\r\n", false, told{outcome: balance.Errored}},
 		{"bye", "BYE\r\n", false, told{outcome: balance.OK}},
 		{"move", "MOVE\r\n", false, told{outcome: balance.Cancelled}},
@@ -184,8 +184,8 @@
 // malformed report is an error and a missing one a time-out.
 func TestProbes(t *testing.T) {
 	answers := []string{"PONG outstanding=7,x0=0.5,recent_ms=2", "PONG x0=0.25", "", "PONG x0=1", "PONG x0=much", "NO", "wait"}
-	want := []told{{load: balance.Load{X0: 0.5, Inflight: 7, Latency: 2}}, {load: balance.Load{X0: 0.25}},
-		{load: balance.Load{X0: 1}}, {outcome: balance.Errored}, {outcome: balance.Errored}, {outcome: balance.TimedOut}}
+	want := []told{{load: balance.LoadReport{Utilization: 0.5, Inflight: 7, LatencyMillis: 2}}, {load: balance.LoadReport{Utilization: 0.25}},
+		{load: balance.LoadReport{Utilization: 1}}, {outcome: balance.Errored}, {outcome: balance.Errored}, {outcome: balance.TimedOut}}
 	var conns atomic.Int32
 	next := make(chan string, len(answers))
 	for _, a := range answers {
@@ -209,7 +209,7 @@
 	for i, wanted := range want {
 		h.Probe("s1")
 		got := w.next(t)
-		if got.outcome != wanted.outcome || got.outcome == balance.OK && got.load.X0 != wanted.load.X0 {
+		if got.outcome != wanted.outcome || got.outcome == balance.OK && got.load.Utilization != wanted.load.Utilization {
 			t.Errorf("probe %d: told %+v, want %+v", i, got, wanted)
 		}
 	}
@@ -240,7 +240,7 @@
 		moved := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
 		h.Update(false, moved, time.Now())
 		h.Probe("s1")
-		if got := w.next(t); got.outcome != balance.OK || got.load.X0 != x0 {
+		if got := w.next(t); got.outcome != balance.OK || got.load.Utilization != x0 {
 			t.Errorf("told %+v, want the report %v of who has the id now", got, x0)
 		}
 	}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -17,7 +17,7 @@
 func (h *Hops) Probe(server string) {
 	p := h.get(server)
 	if p == nil {
-		go h.watch.Probed(server, balance.ConnectFailed, 0, balance.NoLoad)
+		go h.watch.Probed(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
 		return
 	}
 	select {
@@ -89,11 +89,11 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Leg, deadline time.Time) (balance.Load, error) {
+func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Leg, deadline time.Time) (balance.LoadReport, error) {
 	if *kept == nil {
 		conn, err := h.dial(ctx, addr, deadline)
 		if err != nil {
-			return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
+			return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 		}
 		*kept = bufconn.New(conn)
 	}
@@ -101,16 +101,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	if err := l.WriteText(lineproto.Stats, deadline); err != nil {
-		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
+		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
 	text, err := l.ReadText(deadline)
 	if err != nil {
-		return balance.NoLoad, fmt.Errorf("probe %s: %w", id, err)
+		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
 	slog.Debug("probe", "nexthop", id, "line", string(text))
 	load, err := lineproto.ParseStats(text)
 	if err != nil {
-		return balance.NoLoad, errors.Join(errStats, err)
+		return balance.EmptyLoadReport, errors.Join(errStats, err)
 	}
 	return load, nil
 }
