--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -81,11 +81,11 @@
 }
 
 func TestStoredLinesAreReadAndWrittenAlike(t *testing.T) {
-	storedtest.JSON(t, "said.json", storedSaid())
-	storedtest.JSON(t, "told.json", storedTold())
-	storedtest.JSON(t, "ask.json", storedAsk())
-	storedtest.JSON(t, "refusal.json", storedRefusal())
-	storedtest.JSON(t, "state.json", storedState())
+	storedtest.AssertJSON(t, "said.json", storedSaid())
+	storedtest.AssertJSON(t, "told.json", storedTold())
+	storedtest.AssertJSON(t, "ask.json", storedAsk())
+	storedtest.AssertJSON(t, "refusal.json", storedRefusal())
+	storedtest.AssertJSON(t, "state.json", storedState())
 }
 
 // storedAgent takes the stored lines alone, and answers with stored ones.
@@ -113,8 +113,8 @@
 	go converse(t.Context(), agent, storedAgent{t})
 	answers := bufio.NewReader(caller)
 	for _, exchange := range []struct{ line, answer []byte }{
-		{storedtest.JSON(t, "said.json", storedSaid()), storedtest.JSON(t, "told.json", storedTold())},
-		{storedtest.JSON(t, "ask.json", storedAsk()), storedtest.JSON(t, "refusal.json", storedRefusal())},
+		{storedtest.AssertJSON(t, "said.json", storedSaid()), storedtest.AssertJSON(t, "told.json", storedTold())},
+		{storedtest.AssertJSON(t, "ask.json", storedAsk()), storedtest.AssertJSON(t, "refusal.json", storedRefusal())},
 	} {
 		if _, err := caller.Write(exchange.line); err != nil {
 			t.Fatal(err)
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -47,12 +47,12 @@
 func storedMember(t *testing.T) *Agent {
 	a := NewAgent("node-a", cfg, quota.Guards{}, func() time.Duration { return storedNow })
 	want := place{Zone: "zone-b", Record: "127.0.0.1:1"}
-	storedtest.Complete(t, want)
+	storedtest.AssertDistinctFields(t, want)
 	raw, err := json.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Saw("node-b", quota.Alive, storedtest.File(t, "meta.json", raw))
+	a.Saw("node-b", quota.Alive, storedtest.AssertFile(t, "meta.json", raw))
 	if got := a.places["node-b"]; got != want {
 		t.Errorf("meta data is read as %+v, want %+v", got, want)
 	}
@@ -75,12 +75,12 @@
 func TestStoredGossipIsReadAndWrittenAlike(t *testing.T) {
 	a, cutOff := storedMember(t), storedMember(t)
 	datagram, _ := storedUsed()
-	storedtest.Complete(t, storedReport())
-	storedtest.Complete(t, datagram)
-	a.Hear(storedtest.File(t, "report.json", storedReport().pack()))
-	a.Hear(storedtest.File(t, "used.json", datagram.pack()))
+	storedtest.AssertDistinctFields(t, storedReport())
+	storedtest.AssertDistinctFields(t, datagram)
+	a.Hear(storedtest.AssertFile(t, "report.json", storedReport().pack()))
+	a.Hear(storedtest.AssertFile(t, "used.json", datagram.pack()))
 	wantStored(t, a)
-	cutOff.hearAll(storedtest.File(t, "state.json", a.all()))
+	cutOff.hearAll(storedtest.AssertFile(t, "state.json", a.all()))
 	wantStored(t, cutOff)
 }
 
@@ -95,7 +95,7 @@
 }
 
 func TestStoredKeyIsRead(t *testing.T) {
-	storedtest.File(t, "fleet.key", []byte("00112233445566778899aabbccddeeff00112233445566778899aabbccddeef0"))
+	storedtest.AssertFile(t, "fleet.key", []byte("00112233445566778899aabbccddeeff00112233445566778899aabbccddeef0"))
 	want := []byte("\x00\x11\x22\x33\x44\x55\x66\x77\x88\x99\xaa\xbb\xcc\xdd\xee\xff\x00\x11\x22\x33\x44\x55\x66\x77\x88\x99\xaa\xbb\xcc\xdd\xee\xf0")
 	if key, err := ReadKey("testdata/stored/fleet.key"); err != nil || !bytes.Equal(key, want) {
 		t.Errorf("the key is read as %x, %v, want %x", key, err, want)
--- a/internal/fleet/storedtest/storedtest.go
+++ b/internal/fleet/storedtest/storedtest.go
@@ -20,14 +20,14 @@
 
 // JSON checks that value has every field set, that it is written as the line of JSON in the
 // stored file, and that this line is read as value. It returns the line.
-func JSON[T any](t *testing.T, name string, value T) []byte {
+func AssertJSON[T any](t *testing.T, name string, value T) []byte {
 	t.Helper()
-	Complete(t, value)
+	AssertDistinctFields(t, value)
 	written, err := json.Marshal(value)
 	if err != nil {
 		t.Fatal(err)
 	}
-	stored := File(t, name, append(written, '\n'))
+	stored := AssertFile(t, name, append(written, '\n'))
 	var read T
 	if err := json.Unmarshal(stored, &read); err != nil {
 		t.Fatalf("%s: %v", name, err)
@@ -39,7 +39,7 @@
 }
 
 // File checks that the stored file holds exactly what is written now, and returns it.
-func File(t *testing.T, name string, written []byte) []byte {
+func AssertFile(t *testing.T, name string, written []byte) []byte {
 	t.Helper()
 	files := goldie.New(t, goldie.WithFixtureDir(directory), goldie.WithNameSuffix(""))
 	files.Assert(t, name, written)
@@ -52,7 +52,7 @@
 
 // Complete checks that no field which value holds is zero, and that no two hold the same,
 // so that none can be lost or mistaken for another unseen.
-func Complete(t *testing.T, value any) {
+func AssertDistinctFields(t *testing.T, value any) {
 	t.Helper()
 	holders := map[string]string{}
 	eachLeaf(reflect.ValueOf(value), fmt.Sprintf("%T", value), func(path string, leaf reflect.Value) {
