--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -112,15 +112,15 @@
 	if err != nil {
 		return err
 	}
-	signer, _ := ring.Signer(time.Now())
+	signer, _ := ring.SigningKey(time.Now())
 	for _, k := range ring.Keys() {
 		state := "verifies"
 		if k == signer {
 			state = "signs"
-		} else if k.SignsFrom.After(time.Now()) {
+		} else if k.SigningStartsAt.After(time.Now()) {
 			state = "verifies, will sign"
 		}
-		fmt.Printf("%v  from %s  %s\n", k.ID, k.SignsFrom.Format(time.RFC3339), state)
+		fmt.Printf("%v  from %s  %s\n", k.ID, k.SigningStartsAt.Format(time.RFC3339), state)
 	}
 	return nil
 }
--- a/internal/keyfile/keyfile.go
+++ b/internal/keyfile/keyfile.go
@@ -58,7 +58,7 @@
 }
 
 // Load reads a folder's keys.
-func Load(folder string) (*resumetoken.Ring, error) {
+func Load(folder string) (*resumetoken.KeyRing, error) {
 	paths, err := files(folder)
 	if err != nil {
 		return nil, err
@@ -77,7 +77,7 @@
 		}
 		keys = append(keys, k)
 	}
-	return resumetoken.NewRing(keys...)
+	return resumetoken.NewKeyRing(keys...)
 }
 
 func read(path string) (*resumetoken.Key, error) {
--- a/internal/keyfile/keyfile_test.go
+++ b/internal/keyfile/keyfile_test.go
@@ -24,7 +24,7 @@
 	if err != nil || len(r.Keys()) != 2 {
 		t.Fatal(r, err)
 	}
-	if k, ok := r.Signer(time.Now()); !ok || k.ID != id {
+	if k, ok := r.SigningKey(time.Now()); !ok || k.ID != id {
 		t.Errorf("%v signs, want %v", k, id)
 	}
 	good, _ := os.ReadFile(path)
--- a/internal/lineproto/stream.go
+++ b/internal/lineproto/stream.go
@@ -43,10 +43,10 @@
 func FormatStreamStart(o resumetoken.Outcome, came time.Time) string {
 	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
 	switch {
-	case o.Resume:
-		return start + " resume=" + o.Pos.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
-	case o.Floor:
-		return start + " after=" + o.Pos.String() + at
+	case o.CanResume:
+		return start + " resume=" + o.Position.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
+	case o.HasMinPosition:
+		return start + " after=" + o.Position.String() + at
 	}
 	return start
 }
--- a/internal/lineproto/stream_test.go
+++ b/internal/lineproto/stream_test.go
@@ -45,8 +45,8 @@
 	pos := resumetoken.Position{Epoch: 0xc0, Offset: 41}
 	for want, o := range map[string]resumetoken.Outcome{
 		"START":                     {},
-		"START after=c0:41 at=1234": {Floor: true, Pos: pos},
-		"START resume=c0:41 at=1234 id=01000000000000000000000000000000": {Resume: true, Pos: pos, Nonce: resumetoken.Nonce{1}},
+		"START after=c0:41 at=1234": {HasMinPosition: true, Position: pos},
+		"START resume=c0:41 at=1234 id=01000000000000000000000000000000": {CanResume: true, Position: pos, Nonce: resumetoken.Nonce{1}},
 	} {
 		if got := FormatStreamStart(o, came); got != want {
 			t.Errorf("%q, want %q", got, want)
--- a/internal/replayguard/crash_test.go
+++ b/internal/replayguard/crash_test.go
@@ -36,7 +36,7 @@
 	if err := os.WriteFile(filepath.Join(dir, "token"), []byte(text), 0o600); err != nil {
 		panic(err)
 	}
-	l.Spend(tok, resumetoken.Claimant{1}, func(resumetoken.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
+	l.Spend(tok, resumetoken.RedemptionID{1}, func(resumetoken.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
 	time.Sleep(patience)
 }
 
--- a/internal/replayguard/ledger.go
+++ b/internal/replayguard/ledger.go
@@ -62,7 +62,7 @@
 // keeper holds the records.
 type keeper interface {
 	// spend judges a presentation, keeps it if it is granted afresh, and tells.
-	spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict))
+	spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict))
 	sweep()
 	run(ctx context.Context)
 	close() error
@@ -70,7 +70,7 @@
 
 // Ledger is one node's ledger.
 type Ledger struct {
-	ID     resumetoken.LedgerID
+	ID     resumetoken.GuardID
 	Stays  bool // its records survive a restart
 	keeper keeper
 	kept   atomic.Int64
@@ -88,11 +88,11 @@
 		o.Now = time.Now
 	}
 	l := &Ledger{limit: int64(o.Records), now: o.Now}
-	a := resumetoken.Arbiter{Limit: o.Records, Skew: o.Skew}
+	a := resumetoken.Arbiter{MaxRecords: o.Records, ClockSkew: o.Skew}
 	if o.Dir == "" {
 		_, _ = rand.Read(a.ID[:])
 		l.ID = a.ID
-		l.keeper = &memory{ledger: l, arbiter: a, spent: map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.Claimant{}}
+		l.keeper = &memory{ledger: l, arbiter: a, spent: map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.RedemptionID{}}
 		return l, nil
 	}
 	// A record takes about 100 bytes with bbolt's overhead for random keys. The rest
@@ -107,7 +107,7 @@
 		slog.Warn("ledger: a file that can't be trusted was set aside; tokens that name it won't be honoured",
 			"aside", s.Aside, "err", s.Why)
 	}
-	a.ID = resumetoken.LedgerID(s.ID)
+	a.ID = resumetoken.GuardID(s.ID)
 	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group, waiting)}
 	if err := d.load(); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), s.Close())
@@ -127,8 +127,8 @@
 // nothing keeps no records.
 type nothing struct{}
 
-func (nothing) spend(_ *resumetoken.Token, _ resumetoken.Claimant, tell func(resumetoken.Verdict)) {
-	tell(resumetoken.Broken)
+func (nothing) spend(_ *resumetoken.Token, _ resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
+	tell(resumetoken.GuardUnavailable)
 }
 func (nothing) sweep()                  {}
 func (nothing) run(ctx context.Context) { <-ctx.Done() }
@@ -155,7 +155,7 @@
 
 // Spend tells what becomes of one presentation. tell is called once, from another
 // goroutine, and must not block.
-func (l *Ledger) Spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
+func (l *Ledger) Spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
 	l.keeper.spend(t, c, tell)
 }
 
@@ -175,16 +175,16 @@
 	writer  *store.Writer
 	arbiter resumetoken.Arbiter
 	failed  logging.Throttled
-	cheat   map[resumetoken.Nonce]resumetoken.Claimant // mutation: records that are not written
+	cheat   map[resumetoken.Nonce]resumetoken.RedemptionID // mutation: records that are not written
 }
 
 func (d *durable) load() error {
 	return d.store.View(func(tx *store.Tx) error {
 		if b := tx.Bucket(rulesBucket).Get(sweptKey); len(b) == 8 {
-			d.arbiter.Swept = resumetoken.Window(binary.BigEndian.Uint64(b))
+			d.arbiter.SweptThrough = resumetoken.Window(binary.BigEndian.Uint64(b))
 		}
-		err := EachWindow(tx, func(_ resumetoken.Window, spent int) { d.arbiter.Kept += spent })
-		d.ledger.kept.Store(int64(d.arbiter.Kept))
+		err := EachWindow(tx, func(_ resumetoken.Window, spent int) { d.arbiter.RecordCount += spent })
+		d.ledger.kept.Store(int64(d.arbiter.RecordCount))
 		return err
 	})
 }
@@ -202,7 +202,7 @@
 func (d *durable) run(ctx context.Context) { d.writer.Run(ctx) }
 func (d *durable) close() error            { return d.store.Close() }
 
-func (d *durable) spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
+func (d *durable) spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
 	d.writer.Submit(&presentation{d: d, token: t, claimant: c, tell: tell})
 }
 
@@ -214,7 +214,7 @@
 type presentation struct {
 	d        *durable
 	token    *resumetoken.Token
-	claimant resumetoken.Claimant
+	claimant resumetoken.RedemptionID
 	tell     func(resumetoken.Verdict)
 	verdict  resumetoken.Verdict
 	fresh    bool
@@ -222,14 +222,14 @@
 
 func (p *presentation) Apply(tx *store.Tx) error {
 	spent := tx.Bucket(spentBucket)
-	p.verdict, p.fresh = p.d.arbiter.Judge(p.d.ledger.now(), p.token, p.claimant,
-		func(w resumetoken.Window, n resumetoken.Nonce) (c resumetoken.Claimant, ok bool) {
+	p.verdict, p.fresh = p.d.arbiter.Decide(p.d.ledger.now(), p.token, p.claimant,
+		func(w resumetoken.Window, n resumetoken.Nonce) (c resumetoken.RedemptionID, ok bool) {
 			if had, ok := p.d.cheat[n]; ok {
 				return had, true
 			}
 			if b := spent.Bucket(key(w)); b != nil {
 				if had := b.Get(n[:]); len(had) == len(c) {
-					return resumetoken.Claimant(had), true
+					return resumetoken.RedemptionID(had), true
 				}
 			}
 			return c, false
@@ -237,15 +237,15 @@
 	if !p.fresh {
 		return nil
 	}
-	p.d.arbiter.Kept++
+	p.d.arbiter.RecordCount++
 	if mutation.Enabled("ledger-volatile") {
 		if p.d.cheat == nil {
-			p.d.cheat = map[resumetoken.Nonce]resumetoken.Claimant{}
+			p.d.cheat = map[resumetoken.Nonce]resumetoken.RedemptionID{}
 		}
 		p.d.cheat[p.token.Nonce] = p.claimant
 		return nil
 	}
-	b, err := spent.CreateBucketIfNotExists(key(resumetoken.WindowOf(p.token.Expires)))
+	b, err := spent.CreateBucketIfNotExists(key(resumetoken.WindowOf(p.token.ExpiresAt)))
 	if err != nil {
 		return err
 	}
@@ -254,19 +254,19 @@
 
 func (p *presentation) Done(err error) {
 	if errors.Is(err, store.ErrBusy) { // told in Submit's goroutine: the arbiter is not ours to touch
-		p.tell(resumetoken.Full)
+		p.tell(resumetoken.GuardFull)
 		return
 	}
 	if err != nil {
 		p.d.broke(err)
 		if p.fresh {
-			p.d.arbiter.Kept--
+			p.d.arbiter.RecordCount--
 		}
-		p.verdict = resumetoken.Broken
+		p.verdict = resumetoken.GuardUnavailable
 	} else if p.fresh {
 		p.d.ledger.broken.Store(false)
 	}
-	p.d.ledger.kept.Store(int64(p.d.arbiter.Kept))
+	p.d.ledger.kept.Store(int64(p.d.arbiter.RecordCount))
 	p.tell(p.verdict)
 }
 
@@ -283,7 +283,7 @@
 
 func (s *sweep) Apply(tx *store.Tx) error {
 	s.count = 0
-	w, ok := s.d.arbiter.Sweepable(s.d.ledger.now())
+	w, ok := s.d.arbiter.SweepableThrough(s.d.ledger.now())
 	if !ok {
 		return nil
 	}
@@ -306,7 +306,7 @@
 	if err := tx.Bucket(rulesBucket).Put(sweptKey, key(w)); err != nil {
 		return err
 	}
-	s.d.arbiter.Swept = w
+	s.d.arbiter.SweptThrough = w
 	return nil
 }
 
@@ -318,9 +318,9 @@
 		s.d.broke(err)
 		return
 	}
-	s.d.arbiter.Kept -= s.count
-	s.d.ledger.kept.Store(int64(s.d.arbiter.Kept))
-	if s.d.arbiter.Kept < s.d.arbiter.Limit {
+	s.d.arbiter.RecordCount -= s.count
+	s.d.ledger.kept.Store(int64(s.d.arbiter.RecordCount))
+	if s.d.arbiter.RecordCount < s.d.arbiter.MaxRecords {
 		s.d.ledger.broken.Store(false)
 	}
 }
@@ -334,23 +334,23 @@
 
 	mu      sync.Mutex
 	arbiter resumetoken.Arbiter
-	spent   map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.Claimant
+	spent   map[resumetoken.Window]map[resumetoken.Nonce]resumetoken.RedemptionID
 }
 
-func (m *memory) spend(t *resumetoken.Token, c resumetoken.Claimant, tell func(resumetoken.Verdict)) {
+func (m *memory) spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
 	m.mu.Lock()
-	v, fresh := m.arbiter.Judge(m.ledger.now(), t, c, func(w resumetoken.Window, n resumetoken.Nonce) (resumetoken.Claimant, bool) {
+	v, fresh := m.arbiter.Decide(m.ledger.now(), t, c, func(w resumetoken.Window, n resumetoken.Nonce) (resumetoken.RedemptionID, bool) {
 		had, ok := m.spent[w][n]
 		return had, ok
 	})
 	if fresh {
-		w := resumetoken.WindowOf(t.Expires)
+		w := resumetoken.WindowOf(t.ExpiresAt)
 		if m.spent[w] == nil {
-			m.spent[w] = map[resumetoken.Nonce]resumetoken.Claimant{}
+			m.spent[w] = map[resumetoken.Nonce]resumetoken.RedemptionID{}
 		}
 		m.spent[w][t.Nonce] = c
-		m.arbiter.Kept++
-		m.ledger.kept.Store(int64(m.arbiter.Kept))
+		m.arbiter.RecordCount++
+		m.ledger.kept.Store(int64(m.arbiter.RecordCount))
 	}
 	m.mu.Unlock()
 	tell(v)
@@ -359,18 +359,18 @@
 func (m *memory) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	w, ok := m.arbiter.Sweepable(m.ledger.now())
+	w, ok := m.arbiter.SweepableThrough(m.ledger.now())
 	if !ok {
 		return
 	}
 	for at, records := range m.spent {
 		if at <= w {
-			m.arbiter.Kept -= len(records)
+			m.arbiter.RecordCount -= len(records)
 			delete(m.spent, at)
 		}
 	}
-	m.arbiter.Swept = w
-	m.ledger.kept.Store(int64(m.arbiter.Kept))
+	m.arbiter.SweptThrough = w
+	m.ledger.kept.Store(int64(m.arbiter.RecordCount))
 }
 
 func (m *memory) run(ctx context.Context) { <-ctx.Done() }
--- a/internal/replayguard/ledger_test.go
+++ b/internal/replayguard/ledger_test.go
@@ -20,7 +20,7 @@
 	"coralrelay/internal/resumetoken"
 )
 
-func ring(t testing.TB, secrets ...string) *resumetoken.Ring {
+func ring(t testing.TB, secrets ...string) *resumetoken.KeyRing {
 	var keys []*resumetoken.Key
 	for i, s := range secrets {
 		k, err := resumetoken.NewKey(resumetoken.KeyID(i+1), time.Unix(int64(i), 0), []byte(strings.Repeat(s, resumetoken.SecretSize)))
@@ -29,7 +29,7 @@
 		}
 		keys = append(keys, k)
 	}
-	r, err := resumetoken.NewRing(keys...)
+	r, err := resumetoken.NewKeyRing(keys...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,10 +55,10 @@
 var number atomic.Uint64
 
 // token returns a token that a ledger arbitrates.
-func token(t testing.TB, r *resumetoken.Ring, l *Ledger, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
+func token(t testing.TB, r *resumetoken.KeyRing, l *Ledger, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
 	n := number.Add(1)
-	text, err := resumetoken.Mint(r, issued, resumetoken.Grant{Issuer: "n0", Arbiter: "n0", Ledger: l.ID, FlowKey: "k", Group: "g",
-		Pos: resumetoken.Position{Epoch: 1, Offset: n}, Life: life, Nonce: resumetoken.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
+	text, err := resumetoken.Mint(r, issued, resumetoken.Claims{Issuer: "n0", Arbiter: "n0", GuardID: l.ID, FlowKey: "k", Group: "g",
+		Position: resumetoken.Position{Epoch: 1, Offset: n}, Lifetime: life, Nonce: resumetoken.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,10 +70,10 @@
 }
 
 func judge(l *Ledger, tok *resumetoken.Token, claimant byte) resumetoken.Verdict {
-	return spendAs(l, tok, resumetoken.Claimant{claimant})
+	return spendAs(l, tok, resumetoken.RedemptionID{claimant})
 }
 
-func spendAs(l *Ledger, tok *resumetoken.Token, c resumetoken.Claimant) resumetoken.Verdict {
+func spendAs(l *Ledger, tok *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
 	tell := make(chan resumetoken.Verdict, 1)
 	l.Spend(tok, c, func(v resumetoken.Verdict) { tell <- v })
 	return <-tell
@@ -102,7 +102,7 @@
 	}
 	l, _ = start(t, Options{Dir: dir})
 	for _, old := range []*resumetoken.Token{tok, unspent} {
-		if v := judge(l, old, 3); v != resumetoken.Foreign {
+		if v := judge(l, old, 3); v != resumetoken.WrongGuard {
 			t.Errorf("after its file was lost: %v", v)
 		}
 	}
@@ -128,7 +128,7 @@
 				spent = append(spent, tok)
 			}
 			_, more := token(t, r, l, now(), time.Hour)
-			if v := judge(l, more, 1); v != resumetoken.Full || l.Ready() {
+			if v := judge(l, more, 1); v != resumetoken.GuardFull || l.Ready() {
 				t.Errorf("one more: %v, ready %v", v, l.Ready())
 			}
 			if v := judge(l, spent[0], 1); v != resumetoken.Granted {
@@ -156,7 +156,7 @@
 	if err := l.keeper.(*durable).store.Close(); err != nil { // the disk is gone
 		t.Fatal(err)
 	}
-	if v := judge(l, tok, 1); v != resumetoken.Broken || l.Ready() || l.Kept() != 0 {
+	if v := judge(l, tok, 1); v != resumetoken.GuardUnavailable || l.Ready() || l.Kept() != 0 {
 		t.Errorf("%v, ready %v, kept %d", v, l.Ready(), l.Kept())
 	}
 }
@@ -215,7 +215,7 @@
 		for _, s := range in.services {
 			there := 0
 			for _, p := range s.peers {
-				if p.Member(time.Now()).Ready {
+				if p.Member(time.Now()).IsReady {
 					there++
 				}
 			}
@@ -231,7 +231,7 @@
 }
 
 func present(token string) resumetoken.Presentation {
-	return resumetoken.Presentation{Text: token, FlowKey: "k", Group: "g"}
+	return resumetoken.Presentation{Token: token, FlowKey: "k", Group: "g"}
 }
 
 // A token presented everywhere at once is honoured once, whoever arbitrates.
@@ -245,10 +245,10 @@
 		for i := range 9 {
 			wg.Go(func() {
 				o := in.services[i%3].Redeem(context.Background(), present(tok))
-				if o.Resume {
+				if o.CanResume {
 					resumed.Add(1)
 				}
-				if o.Floor && o.Why == resumetoken.Spent && o.Pos.Offset == uint64(round) {
+				if o.HasMinPosition && o.Verdict == resumetoken.Spent && o.Position.Offset == uint64(round) {
 					floors.Add(1)
 				}
 			})
@@ -267,7 +267,7 @@
 	in.stops[0]()
 	begun := time.Now()
 	o := in.services[1].Redeem(context.Background(), present(tok))
-	if o.Resume || o.Why != resumetoken.Unreachable || !o.Floor || o.Pos.Offset != 7 {
+	if o.CanResume || o.Verdict != resumetoken.ArbiterUnreachable || !o.HasMinPosition || o.Position.Offset != 7 {
 		t.Errorf("%+v", o)
 	}
 	if took := time.Since(begun); took > 5*time.Second {
@@ -278,11 +278,11 @@
 	if m := in.services[1].Mint("k", "g", resumetoken.Position{}); m == "" {
 		t.Error("no token, though its own ledger survives a restart")
 	}
-	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.Resume {
+	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.CanResume {
 		t.Errorf("at its arbiter: %+v", o)
 	}
 	s := NewService("n9", in.ledgers[0], Terms{Ring: ring(t, "a"), Life: time.Minute, Wait: 20 * time.Millisecond}, nil)
-	if o := s.Redeem(context.Background(), present(tok)); o.Why != resumetoken.Unreachable {
+	if o := s.Redeem(context.Background(), present(tok)); o.Verdict != resumetoken.ArbiterUnreachable {
 		t.Errorf("an arbiter that nobody knows: %+v", o)
 	}
 }
@@ -313,7 +313,7 @@
 		}
 		_ = conn.Close()
 	}
-	if o := in.services[1].Redeem(context.Background(), present(tok)); !o.Resume {
+	if o := in.services[1].Redeem(context.Background(), present(tok)); !o.CanResume {
 		t.Errorf("the honest client's: %+v", o)
 	}
 }
@@ -349,13 +349,13 @@
 				}
 			}
 		}()
-		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resumetoken.Ring { return r }}
+		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resumetoken.KeyRing { return r }}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { p.Run(ctx); close(done) }()
 		<-again
 		<-again // it was hung up on, and called again
-		if p.Member(time.Now()).Ready {
+		if p.Member(time.Now()).IsReady {
 			t.Errorf("%s: believed", name)
 		}
 		cancel()
@@ -403,7 +403,7 @@
 		for range perStep {
 			_, tok := token(t, r, l, time.Unix(0, clock.Load()), step)
 			wg.Add(1)
-			l.Spend(tok, resumetoken.Claimant{1}, func(v resumetoken.Verdict) {
+			l.Spend(tok, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
 				if v != resumetoken.Granted {
 					t.Errorf("minute %d: %v", minute, v)
 				}
@@ -438,7 +438,7 @@
 			tok.Nonce = n
 			slots <- struct{}{}
 			wg.Add(1)
-			l.Spend(tok, resumetoken.Claimant{1}, func(v resumetoken.Verdict) {
+			l.Spend(tok, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
 				if v != resumetoken.Granted {
 					b.Error(v)
 				}
@@ -470,7 +470,7 @@
 			wg.Go(func() {
 				for tick := time.NewTicker(time.Millisecond); rate > 0; <-tick.C {
 					for range rate {
-						if ctx.Err() != nil || in.services[1].Redeem(ctx, present(forged)).Resume {
+						if ctx.Err() != nil || in.services[1].Redeem(ctx, present(forged)).CanResume {
 							return
 						}
 					}
@@ -480,7 +480,7 @@
 			for b.Loop() {
 				tok := in.services[0].Mint("k", "g", resumetoken.Position{})
 				begun := time.Now()
-				if !in.services[1].Redeem(ctx, present(tok)).Resume {
+				if !in.services[1].Redeem(ctx, present(tok)).CanResume {
 					b.Error(errNoSpend)
 				}
 				took = append(took, time.Since(begun))
--- a/internal/replayguard/peer.go
+++ b/internal/replayguard/peer.go
@@ -30,12 +30,12 @@
 // Peer is another node's ledger.
 type Peer struct {
 	Name, Addr string
-	ring       func() *resumetoken.Ring
+	ring       func() *resumetoken.KeyRing
 	bad        logging.Throttled
 
 	mu     sync.Mutex
 	link   *link // nil while there is no connection
-	member resumetoken.Member
+	member resumetoken.Candidate
 	seen   time.Time // when it last said how it is
 }
 
@@ -54,11 +54,11 @@
 }
 
 // Member tells how the peer is.
-func (p *Peer) Member(now time.Time) resumetoken.Member {
+func (p *Peer) Member(now time.Time) resumetoken.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member
-	m.Ready = m.Ready && p.link != nil && now.Sub(p.seen) < lately
+	m.IsReady = m.IsReady && p.link != nil && now.Sub(p.seen) < lately
 	return m
 }
 
@@ -137,7 +137,7 @@
 // ask puts a question, whose words follow the key's id. It is false if the link is
 // over or too many are out.
 func (p *Peer) ask(l *link, tell chan<- resumetoken.Verdict, word string, words ...string) bool {
-	k, ok := p.ring().Signer(time.Now())
+	k, ok := p.ring().SigningKey(time.Now())
 	if !ok {
 		return false
 	}
@@ -175,11 +175,11 @@
 	delete(l.waiting, seq)
 	switch {
 	case words[0] == aboutMe && len(words) == 7 && q.tell == nil:
-		m := resumetoken.Member{Name: p.Name, Ready: words[4] == "ready", Stays: words[5] == "stays"}
+		m := resumetoken.Candidate{Name: p.Name, IsReady: words[4] == "ready", IsDurable: words[5] == "stays"}
 		if words[2] != p.Name {
 			return fmt.Errorf("peer at %s calls itself %.40q, not %q", p.Addr, words[2], p.Name)
 		}
-		if n, err := hex.Decode(m.Ledger[:], []byte(words[3])); err != nil || n != len(m.Ledger) {
+		if n, err := hex.Decode(m.GuardID[:], []byte(words[3])); err != nil || n != len(m.GuardID) {
 			return fmt.Errorf("%w: ledger %.40q", errLine, words[3])
 		}
 		p.member, p.seen = m, time.Now()
@@ -199,7 +199,7 @@
 
 // Spend asks the peer's ledger once. It returns errGone if there is no connection
 // or it breaks; the same question may then be put again.
-func (p *Peer) Spend(ctx context.Context, token string, c resumetoken.Claimant) (resumetoken.Verdict, error) {
+func (p *Peer) Spend(ctx context.Context, token string, c resumetoken.RedemptionID) (resumetoken.Verdict, error) {
 	tell := make(chan resumetoken.Verdict, 1)
 	p.mu.Lock()
 	l := p.link
@@ -214,7 +214,7 @@
 		}
 		return v, nil
 	case <-ctx.Done(): // the answer, if it comes, finds room and nobody
-		return resumetoken.Unreachable, nil
+		return resumetoken.ArbiterUnreachable, nil
 	}
 }
 
--- a/internal/replayguard/server.go
+++ b/internal/replayguard/server.go
@@ -31,7 +31,7 @@
 type Server struct {
 	Name   string
 	Ledger *Ledger
-	Ring   func() *resumetoken.Ring
+	Ring   func() *resumetoken.KeyRing
 	bad    logging.Throttled
 }
 
@@ -149,14 +149,14 @@
 		say(sealed(k, context, aboutMe, seq, s.Name, hex.EncodeToString(s.Ledger.ID[:]), room, stays))
 		return nil
 	}
-	var c resumetoken.Claimant
+	var c resumetoken.RedemptionID
 	if n, err := hex.Decode(c[:], []byte(words[4])); err != nil || n != len(c) {
 		return fmt.Errorf("%w: claimant %.40q", errLine, words[4])
 	}
 	tell := func(v resumetoken.Verdict) { say(sealed(k, context, verdict, seq, v.String())) }
 	t, err := resumetoken.Open(s.Ring(), words[5])
 	if err != nil {
-		tell(resumetoken.Forged)
+		tell(resumetoken.Invalid)
 		return nil
 	}
 	s.Ledger.Spend(&t, c, tell)
--- a/internal/replayguard/service.go
+++ b/internal/replayguard/service.go
@@ -17,7 +17,7 @@
 
 // Terms are what may change while the node runs.
 type Terms struct {
-	Ring *resumetoken.Ring
+	Ring *resumetoken.KeyRing
 	Life time.Duration // of a token
 	Skew time.Duration // by which nodes' clocks may differ
 	Wait time.Duration // for an arbiter's answer, before the client gets a snapshot
@@ -37,7 +37,7 @@
 // Counts are what a Service has done so far.
 type Counts struct {
 	Minted, Bare atomic.Int64 // tokens; moves without one
-	Verdicts     [resumetoken.Unreachable + 1]atomic.Int64
+	Verdicts     [resumetoken.ArbiterUnreachable + 1]atomic.Int64
 }
 
 // NewService returns the node's service; peers are its addresses by name.
@@ -62,7 +62,7 @@
 }
 
 // Ring returns the keys in force.
-func (s *Service) Ring() *resumetoken.Ring { return s.terms.Load().Ring }
+func (s *Service) Ring() *resumetoken.KeyRing { return s.terms.Load().Ring }
 
 // Change puts other terms in force.
 func (s *Service) Change(t Terms) { s.terms.Store(&t) }
@@ -77,12 +77,12 @@
 	now, terms := time.Now(), s.terms.Load()
 	var n resumetoken.Nonce
 	_, _ = rand.Read(n[:])
-	peers := make([]resumetoken.Member, 0, len(s.peers))
+	peers := make([]resumetoken.Candidate, 0, len(s.peers))
 	for _, p := range s.peers {
 		peers = append(peers, p.Member(now))
 	}
-	self := resumetoken.Member{Name: s.name, Ledger: s.ledger.ID, Ready: s.ledger.Ready(), Stays: s.ledger.Stays}
-	arbiter, ok := resumetoken.Choose(self, s.leaving.Load(), peers, n)
+	self := resumetoken.Candidate{Name: s.name, GuardID: s.ledger.ID, IsReady: s.ledger.Ready(), IsDurable: s.ledger.Stays}
+	arbiter, ok := resumetoken.ChooseArbiter(self, s.leaving.Load(), peers, n)
 	if !ok {
 		s.Counts.Bare.Add(1)
 		return ""
@@ -90,8 +90,8 @@
 	if mutation.Enabled("position") {
 		pos.Offset++
 	}
-	text, err := resumetoken.Mint(terms.Ring, now, resumetoken.Grant{Issuer: s.name, Arbiter: arbiter.Name, Ledger: arbiter.Ledger,
-		Pos: pos, FlowKey: flowKey, Group: group, Life: terms.Life, Nonce: n})
+	text, err := resumetoken.Mint(terms.Ring, now, resumetoken.Claims{Issuer: s.name, Arbiter: arbiter.Name, GuardID: arbiter.GuardID,
+		Position: pos, FlowKey: flowKey, Group: group, Lifetime: terms.Life, Nonce: n})
 	if err != nil {
 		s.failed.Warn("no token for a moved client", "err", err)
 		s.Counts.Bare.Add(1)
@@ -105,34 +105,34 @@
 func (s *Service) Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome {
 	terms := s.terms.Load()
 	if mutation.Enabled("binding") {
-		if t, err := resumetoken.Open(terms.Ring, p.Text); err == nil {
-			return s.ask(ctx, terms, p.Text, &resumetoken.Redemption{Token: t})
+		if t, err := resumetoken.Open(terms.Ring, p.Token); err == nil {
+			return s.ask(ctx, terms, p.Token, &resumetoken.Redemption{Token: t})
 		}
 	}
-	r, o, settled := resumetoken.Begin(terms.Ring, time.Now(), p, terms.Skew)
+	r, o, settled := resumetoken.BeginRedemption(terms.Ring, time.Now(), p, terms.Skew)
 	if !settled {
-		o = s.ask(ctx, terms, p.Text, r)
+		o = s.ask(ctx, terms, p.Token, r)
 	}
-	s.Counts.Verdicts[o.Why].Add(1)
+	s.Counts.Verdicts[o.Verdict].Add(1)
 	return o
 }
 
 func (s *Service) ask(ctx context.Context, terms *Terms, text string, r *resumetoken.Redemption) resumetoken.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, terms.Wait)
 	defer cancel()
-	var c resumetoken.Claimant
+	var c resumetoken.RedemptionID
 	_, _ = rand.Read(c[:])
 	v := s.verdict(ctx, text, &r.Token, c)
 	if mutation.Enabled("ledger") {
 		v = resumetoken.Granted
 	}
-	o, _ := r.Answered(v)
+	o, _ := r.Complete(v)
 	return o
 }
 
 // verdict asks the token's arbiter, again under the same claim where the
 // connection broke, until ctx ends.
-func (s *Service) verdict(ctx context.Context, text string, t *resumetoken.Token, c resumetoken.Claimant) resumetoken.Verdict {
+func (s *Service) verdict(ctx context.Context, text string, t *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
 	if t.Arbiter == s.name {
 		tell := make(chan resumetoken.Verdict, 1)
 		s.ledger.Spend(t, c, func(v resumetoken.Verdict) { tell <- v })
@@ -140,12 +140,12 @@
 		case v := <-tell:
 			return v
 		case <-ctx.Done():
-			return resumetoken.Unreachable
+			return resumetoken.ArbiterUnreachable
 		}
 	}
 	p := s.peers[t.Arbiter]
 	if p == nil {
-		return resumetoken.Unreachable
+		return resumetoken.ArbiterUnreachable
 	}
 	for {
 		v, err := p.Spend(ctx, text, c)
@@ -154,7 +154,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return resumetoken.Unreachable
+			return resumetoken.ArbiterUnreachable
 		case <-time.After(retry):
 		}
 	}
--- a/internal/replayguard/stored_test.go
+++ b/internal/replayguard/stored_test.go
@@ -31,7 +31,7 @@
 // storedTime lies in window 180000000.
 var storedTime = time.UnixMilli(1_800_000_004_567)
 
-var storedID = resumetoken.LedgerID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
+var storedID = resumetoken.GuardID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
 
 // storedTokens are sealed by the second key of ring(t, "a", "b") and issued at storedTime.
 var storedTokens = []struct{ claimant, text string }{
@@ -43,13 +43,13 @@
 // sweptToken was issued a minute before storedTime and expired in the last window swept.
 const sweptToken = "AQAAAAIKGyw9Tl9gcQAAAAAAAADjAAAAAAAAAGcAAAGjGFt3dwAAw1B0IqDVCNsa9YrYp84tErrhQEFCQ0RFRkdISUpLTE1OTwJuMQJuMPfDzUrfSsvaXjqq-ZeJX4k"
 
-func claimant(t testing.TB, text string) resumetoken.Claimant {
+func claimant(t testing.TB, text string) resumetoken.RedemptionID {
 	t.Helper()
 	b, err := hex.DecodeString(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resumetoken.Claimant(b)
+	return resumetoken.RedemptionID(b)
 }
 
 func openToken(t testing.TB, text string) *resumetoken.Token {
@@ -222,7 +222,7 @@
 func TestServerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
 	l, _ := startStored(t, copyStored(t), storedTime)
-	s := &Server{Name: "n0", Ledger: l, Ring: func() *resumetoken.Ring { return keys }}
+	s := &Server{Name: "n0", Ledger: l, Ring: func() *resumetoken.KeyRing { return keys }}
 	for _, line := range wireLines {
 		if answer := exchange(t, s, line.ask); answer != line.answer {
 			t.Errorf("%q\nis answered %q\nwant        %q", line.ask, answer, line.answer)
@@ -240,7 +240,7 @@
 
 func TestPeerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
-	p := &Peer{Name: "n0", ring: func() *resumetoken.Ring { return keys }}
+	p := &Peer{Name: "n0", ring: func() *resumetoken.KeyRing { return keys }}
 	p.link = &link{challenge: wireChallenge, out: make(chan string, 1), waiting: map[uint64]*question{}}
 	talk := func(i int) {
 		t.Helper()
@@ -253,7 +253,7 @@
 	}
 	p.ask(p.link, nil, hello)
 	talk(0)
-	if want := (resumetoken.Member{Name: "n0", Ledger: storedID, Ready: true, Stays: true}); p.member != want {
+	if want := (resumetoken.Candidate{Name: "n0", GuardID: storedID, IsReady: true, IsDurable: true}); p.member != want {
 		t.Errorf("the peer is %+v, want %+v", p.member, want)
 	}
 	for i, c := range []struct {
--- a/internal/replayguard/wire.go
+++ b/internal/replayguard/wire.go
@@ -51,7 +51,7 @@
 }
 
 func seal(k *resumetoken.Key, context string, words []string) string {
-	return hex.EncodeToString(k.Peer(append([]string{context}, words...)...))
+	return hex.EncodeToString(k.PeerMAC(append([]string{context}, words...)...))
 }
 
 // unseal tells whether the last word is the seal of those before.
--- a/internal/resumetoken/keys.go
+++ b/internal/resumetoken/keys.go
@@ -23,11 +23,11 @@
 // Key seals tokens, binds them to clients and authenticates ledgers to each
 // other, each under a subkey of its own (HKDF, RFC 5869).
 type Key struct {
-	ID        KeyID
-	SignsFrom time.Time // it verifies at once, and signs from then on
-	token     []byte
-	bind      []byte
-	peer      []byte
+	ID              KeyID
+	SigningStartsAt time.Time // it verifies at once, and signs from then on
+	token           []byte
+	bind            []byte
+	peer            []byte
 }
 
 // NewKey derives a key from a secret of SecretSize bytes.
@@ -35,7 +35,7 @@
 	if len(secret) != SecretSize {
 		return nil, fmt.Errorf("key %v: secret has %d bytes, want %d", id, len(secret), SecretSize)
 	}
-	k := &Key{ID: id, SignsFrom: signsFrom}
+	k := &Key{ID: id, SigningStartsAt: signsFrom}
 	for use, to := range map[string]*[]byte{"token": &k.token, "bind": &k.bind, "peer": &k.peer} {
 		sub, err := hkdf.Key(sha256.New, secret, nil, "coralrelay resume v1 "+use, sha256.Size)
 		if err != nil {
@@ -47,7 +47,7 @@
 }
 
 // Bind returns the binding to a client.
-func (k *Key) Bind(flowKey, group string) (b Binding) {
+func (k *Key) BindingFor(flowKey, group string) (b Binding) {
 	m := hmac.New(sha256.New, k.bind)
 	var size [8]byte // so that no two pairs give the same bytes
 	binary.BigEndian.PutUint64(size[:], uint64(len(flowKey)))
@@ -59,7 +59,7 @@
 }
 
 // Peer authenticates what one ledger says to another.
-func (k *Key) Peer(parts ...string) []byte {
+func (k *Key) PeerMAC(parts ...string) []byte {
 	m := hmac.New(sha256.New, k.peer)
 	for _, p := range parts {
 		var size [8]byte
@@ -72,16 +72,16 @@
 
 // Ring holds the keys of an installation: one signs, all verify. It does not
 // change; a rotation makes another.
-type Ring struct{ keys []*Key } // by SignsFrom, the latest first
+type KeyRing struct{ keys []*Key } // by SignsFrom, the latest first
 
 // NewRing returns a ring of keys.
-func NewRing(keys ...*Key) (*Ring, error) {
+func NewKeyRing(keys ...*Key) (*KeyRing, error) {
 	if len(keys) == 0 {
 		return nil, errors.New("no keys")
 	}
-	r := &Ring{keys: slices.Clone(keys)}
+	r := &KeyRing{keys: slices.Clone(keys)}
 	slices.SortFunc(r.keys, func(a, b *Key) int {
-		if c := b.SignsFrom.Compare(a.SignsFrom); c != 0 {
+		if c := b.SigningStartsAt.Compare(a.SigningStartsAt); c != 0 {
 			return c
 		}
 		return int(int64(b.ID) - int64(a.ID)) // a tie falls the same way on every node
@@ -97,7 +97,7 @@
 }
 
 // Get returns the key with the id.
-func (r *Ring) Get(id KeyID) (*Key, bool) {
+func (r *KeyRing) Get(id KeyID) (*Key, bool) {
 	for _, k := range r.keys {
 		if k.ID == id {
 			return k, true
@@ -107,9 +107,9 @@
 }
 
 // Signer returns the key that signs now: the latest whose time has come.
-func (r *Ring) Signer(now time.Time) (*Key, bool) {
+func (r *KeyRing) SigningKey(now time.Time) (*Key, bool) {
 	for _, k := range r.keys {
-		if !k.SignsFrom.After(now) {
+		if !k.SigningStartsAt.After(now) {
 			return k, true
 		}
 	}
@@ -117,4 +117,4 @@
 }
 
 // Keys lists the keys, that which signs last first.
-func (r *Ring) Keys() []*Key { return slices.Clone(r.keys) }
+func (r *KeyRing) Keys() []*Key { return slices.Clone(r.keys) }
--- a/internal/resumetoken/model_test.go
+++ b/internal/resumetoken/model_test.go
@@ -36,14 +36,14 @@
 
 func explore(how flaw) (states int, broken bool) {
 	begin := time.UnixMilli(1_000_000_000)
-	token := Token{Ledger: LedgerID{1}, Nonce: Nonce{1}, Issued: begin, Expires: begin.Add(time.Minute)}
+	token := Token{GuardID: GuardID{1}, Nonce: Nonce{1}, IssuedAt: begin, ExpiresAt: begin.Add(time.Minute)}
 	arbiter := func(s state) (Arbiter, time.Time) {
-		a, now := Arbiter{ID: LedgerID{1}, Limit: 10}, begin
+		a, now := Arbiter{ID: GuardID{1}, MaxRecords: 10}, begin
 		if s.late {
 			now = begin.Add(time.Hour)
 		}
 		if s.swept && how != forgetsSweep {
-			a.Swept = WindowOf(token.Expires)
+			a.SweptThrough = WindowOf(token.ExpiresAt)
 		}
 		return a, now
 	}
@@ -77,15 +77,15 @@
 				to(func(n *state) { n.over[i], n.asked = 1, n.asked|bit })
 			case 1:
 				to(func(n *state) { n.over[i] = 4 }) // the node is killed
-				for v, sent := range map[Verdict]bool{Granted: s.granted&bit != 0, Spent: s.denied&bit != 0, Unreachable: true} {
+				for v, sent := range map[Verdict]bool{Granted: s.granted&bit != 0, Spent: s.denied&bit != 0, ArbiterUnreachable: true} {
 					if sent {
 						r := &Redemption{Token: token}
-						o, first := r.Answered(v)
-						if _, again := r.Answered(Granted); again || !first {
+						o, first := r.Complete(v)
+						if _, again := r.Complete(Granted); again || !first {
 							broken = true // a second answer counted
 						}
 						to(func(n *state) {
-							if n.over[i] = 3; o.Resume {
+							if n.over[i] = 3; o.CanResume {
 								n.over[i] = 2
 							}
 						})
@@ -96,11 +96,11 @@
 				continue
 			}
 			a, now := arbiter(s)
-			v, fresh := a.Judge(now, &token, Claimant{byte(i + 1)}, func(Window, Nonce) (Claimant, bool) {
+			v, fresh := a.Decide(now, &token, RedemptionID{byte(i + 1)}, func(Window, Nonce) (RedemptionID, bool) {
 				if how == grantsAnyClaimant && s.pending != 0 {
-					return Claimant{byte(i + 1)}, true
+					return RedemptionID{byte(i + 1)}, true
 				}
-				return Claimant{s.pending}, s.pending != 0
+				return RedemptionID{s.pending}, s.pending != 0
 			})
 			to(func(n *state) {
 				switch {
@@ -124,7 +124,7 @@
 		})
 		to(func(n *state) { n.late = !n.late })
 		a, now := arbiter(s)
-		if w, ok := a.Sweepable(now); ok && w >= WindowOf(token.Expires) {
+		if w, ok := a.SweepableThrough(now); ok && w >= WindowOf(token.ExpiresAt) {
 			to(func(n *state) { n.durable, n.pending, n.swept = 0, 0, true })
 		}
 	}
--- a/internal/resumetoken/redemption.go
+++ b/internal/resumetoken/redemption.go
@@ -4,17 +4,17 @@
 
 // Presentation is a token as a client presents it.
 type Presentation struct {
-	Text           string
+	Token          string
 	FlowKey, Group string
 }
 
 // Outcome is how the client's stream starts.
 type Outcome struct {
-	Why    Verdict
-	Resume bool     // at Pos; else with a snapshot
-	Floor  bool     // the snapshot must not be older than Pos, which the token proves
-	Pos    Position // of the token, where Resume or Floor is set
-	Nonce  Nonce    // of the token, where Resume is set
+	Verdict        Verdict
+	CanResume      bool     // at Pos; else with a snapshot
+	HasMinPosition bool     // the snapshot must not be older than Pos, which the token proves
+	Position       Position // of the token, where Resume or Floor is set
+	Nonce          Nonce    // of the token, where Resume is set
 }
 
 // Redemption is one presentation at the node that took it. It ends with exactly
@@ -26,16 +26,16 @@
 
 // Begin checks a presentation. If it can be settled at once it returns the
 // outcome; else the token's arbiter has to be asked.
-func Begin(r *Ring, now time.Time, p Presentation, skew time.Duration) (*Redemption, Outcome, bool) {
-	t, err := Open(r, p.Text)
+func BeginRedemption(r *KeyRing, now time.Time, p Presentation, skew time.Duration) (*Redemption, Outcome, bool) {
+	t, err := Open(r, p.Token)
 	if err == nil {
-		err = t.Belongs(r, p.FlowKey, p.Group)
+		err = t.VerifyClient(r, p.FlowKey, p.Group)
 	}
 	if err != nil {
-		return nil, Outcome{Why: verdictOf(err)}, true
+		return nil, Outcome{Verdict: verdictOf(err)}, true
 	}
 	red := &Redemption{Token: t}
-	if err := t.Fresh(now, skew, skew); err != nil {
+	if err := t.VerifyTime(now, skew, skew); err != nil {
 		return nil, red.settle(verdictOf(err)), true
 	}
 	return red, Outcome{}, false
@@ -43,7 +43,7 @@
 
 // Answered takes the arbiter's verdict, or Unreachable at the deadline. Only the
 // first counts.
-func (r *Redemption) Answered(v Verdict) (Outcome, bool) {
+func (r *Redemption) Complete(v Verdict) (Outcome, bool) {
 	if r.done {
 		return Outcome{}, false
 	}
@@ -53,8 +53,8 @@
 func (r *Redemption) settle(v Verdict) Outcome {
 	r.done = true
 	if v == Granted {
-		return Outcome{Why: v, Resume: true, Pos: r.Token.Pos, Nonce: r.Token.Nonce}
+		return Outcome{Verdict: v, CanResume: true, Position: r.Token.Position, Nonce: r.Token.Nonce}
 	}
 	// Spent or not, the token proves what its client has seen.
-	return Outcome{Why: v, Floor: true, Pos: r.Token.Pos}
+	return Outcome{Verdict: v, HasMinPosition: true, Position: r.Token.Position}
 }
--- a/internal/resumetoken/stored_test.go
+++ b/internal/resumetoken/stored_test.go
@@ -25,15 +25,15 @@
 	}
 	ring := testRing(t, key)
 	issued := time.UnixMilli(1_800_000_004_567)
-	text, err := Mint(ring, issued, Grant{
-		Issuer:  "issuer-1",
-		Arbiter: "arbiter-22",
-		Ledger:  LedgerID{0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18},
-		Pos:     Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210},
-		FlowKey: "flow-key-7",
-		Group:   "group-3",
-		Life:    61_234 * time.Millisecond,
-		Nonce:   Nonce([]byte("NONCE-0123456789")),
+	text, err := Mint(ring, issued, Claims{
+		Issuer:   "issuer-1",
+		Arbiter:  "arbiter-22",
+		GuardID:  GuardID{0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18},
+		Position: Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210},
+		FlowKey:  "flow-key-7",
+		Group:    "group-3",
+		Lifetime: 61_234 * time.Millisecond,
+		Nonce:    Nonce([]byte("NONCE-0123456789")),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -56,24 +56,24 @@
 		t.Fatal(err)
 	}
 	want := Token{
-		Key:     0x0a1b2c3d,
-		Issuer:  "issuer-1",
-		Arbiter: "arbiter-22",
-		Ledger:  LedgerID{0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18},
-		Pos:     Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210},
-		Bind:    Binding(bind),
-		Issued:  issued,
-		Expires: time.UnixMilli(1_800_000_065_801),
-		Nonce:   Nonce([]byte("NONCE-0123456789")),
+		KeyID:     0x0a1b2c3d,
+		Issuer:    "issuer-1",
+		Arbiter:   "arbiter-22",
+		GuardID:   GuardID{0x11, 0x12, 0x13, 0x14, 0x15, 0x16, 0x17, 0x18},
+		Position:  Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210},
+		Binding:   Binding(bind),
+		IssuedAt:  issued,
+		ExpiresAt: time.UnixMilli(1_800_000_065_801),
+		Nonce:     Nonce([]byte("NONCE-0123456789")),
 	}
 	got, err := Open(ring, stored)
 	if err != nil || got != want {
 		t.Fatalf("read %+v, want %+v: %v", got, want, err)
 	}
-	if err := got.Belongs(ring, "flow-key-7", "group-3"); err != nil {
+	if err := got.VerifyClient(ring, "flow-key-7", "group-3"); err != nil {
 		t.Errorf("its client's: %v", err)
 	}
-	if err := got.Fresh(issued, 0, 0); err != nil {
+	if err := got.VerifyTime(issued, 0, 0); err != nil {
 		t.Errorf("at its time: %v", err)
 	}
 }
@@ -89,8 +89,8 @@
 	if text := KeyID(0x0a1b2c3d).String(); text != "0a1b2c3d" {
 		t.Errorf("key's id is written %q", text)
 	}
-	words := map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", Future: "future", Foreign: "foreign",
-		Full: "full", Broken: "broken", Forged: "forged", Stranger: "stranger", Unreachable: "unreachable"}
+	words := map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", NotYetValid: "future", WrongGuard: "foreign",
+		GuardFull: "full", GuardUnavailable: "broken", Invalid: "forged", WrongClient: "stranger", ArbiterUnreachable: "unreachable"}
 	if len(words) != len(verdicts) {
 		t.Errorf("%d verdicts, want %d", len(verdicts), len(words))
 	}
--- a/internal/resumetoken/token.go
+++ b/internal/resumetoken/token.go
@@ -23,11 +23,11 @@
 	Version = 1
 	// MaxText is the length of the longest token as text, in bytes. A first line
 	// may have 4 KiB.
-	MaxText = 256
+	MaxEncodedLength = 256
 	// MaxName is the length of the longest issuer's or arbiter's name, in bytes.
-	MaxName = 40
+	MaxNameLength = 40
 	// MaxLife bounds a token's life, and with it what a ledger has to remember.
-	MaxLife = 24 * time.Hour
+	MaxLifetime = 24 * time.Hour
 
 	macSize   = 16
 	fixedSize = 1 + 4 + 8 + 8 + 8 + 8 + 4 + 16 + 16
@@ -36,13 +36,13 @@
 // What can be wrong with a token. Each is a reason for a snapshot, not an error
 // to the client.
 var (
-	ErrMalformed = errors.New("token is malformed")
-	ErrVersion   = errors.New("token has another version")
-	ErrKey       = errors.New("token's key is unknown")
-	ErrForged    = errors.New("token's seal does not fit")
-	ErrStranger  = errors.New("token is another client's")
-	ErrExpired   = errors.New("token has expired")
-	ErrFuture    = errors.New("token is from the future")
+	ErrMalformed          = errors.New("token is malformed")
+	ErrUnsupportedVersion = errors.New("token has another version")
+	ErrUnknownKey         = errors.New("token's key is unknown")
+	ErrBadMAC             = errors.New("token's seal does not fit")
+	ErrWrongClient        = errors.New("token is another client's")
+	ErrExpired            = errors.New("token has expired")
+	ErrNotYetValid        = errors.New("token is from the future")
 )
 
 // Position is a place in a stream: all up to Offset has been seen, in the
@@ -71,56 +71,56 @@
 
 // LedgerID names the contents of one ledger: one that has lost what it knew comes
 // back under another, so that it can't grant again what it granted before.
-type LedgerID [8]byte
+type GuardID [8]byte
 
 // Binding ties a token to one client's flow key and group.
 type Binding [16]byte
 
 // Token is what a moved client carries.
 type Token struct {
-	Key     KeyID
-	Issuer  string // the node that minted it
-	Arbiter string // the node whose ledger decides
-	Ledger  LedgerID
-	Pos     Position
-	Bind    Binding
-	Issued  time.Time // whole milliseconds, the issuer's clock
-	Expires time.Time // the same
-	Nonce   Nonce
+	KeyID     KeyID
+	Issuer    string // the node that minted it
+	Arbiter   string // the node whose ledger decides
+	GuardID   GuardID
+	Position  Position
+	Binding   Binding
+	IssuedAt  time.Time // whole milliseconds, the issuer's clock
+	ExpiresAt time.Time // the same
+	Nonce     Nonce
 }
 
 // Grant is what a token is minted from.
-type Grant struct {
+type Claims struct {
 	Issuer, Arbiter string
-	Ledger          LedgerID
-	Pos             Position
+	GuardID         GuardID
+	Position        Position
 	FlowKey, Group  string
-	Life            time.Duration // 1 ms to MaxLife
+	Lifetime        time.Duration // 1 ms to MaxLife
 	Nonce           Nonce         // drawn at random, never twice
 }
 
 var encoding = base64.RawURLEncoding.Strict()
 
 // Mint returns a sealed token as text.
-func Mint(r *Ring, now time.Time, g Grant) (string, error) {
-	k, ok := r.Signer(now)
+func Mint(r *KeyRing, now time.Time, g Claims) (string, error) {
+	k, ok := r.SigningKey(now)
 	switch {
 	case !ok:
 		return "", fmt.Errorf("mint: no key signs yet")
-	case g.Life < time.Millisecond || g.Life > MaxLife:
-		return "", fmt.Errorf("mint: life %v is not between 1ms and %v", g.Life, MaxLife)
-	case len(g.Issuer) > MaxName || len(g.Arbiter) > MaxName || g.Arbiter == "":
-		return "", fmt.Errorf("mint: issuer %.50q or arbiter %.50q is not a name of up to %d bytes", g.Issuer, g.Arbiter, MaxName)
+	case g.Lifetime < time.Millisecond || g.Lifetime > MaxLifetime:
+		return "", fmt.Errorf("mint: life %v is not between 1ms and %v", g.Lifetime, MaxLifetime)
+	case len(g.Issuer) > MaxNameLength || len(g.Arbiter) > MaxNameLength || g.Arbiter == "":
+		return "", fmt.Errorf("mint: issuer %.50q or arbiter %.50q is not a name of up to %d bytes", g.Issuer, g.Arbiter, MaxNameLength)
 	}
 	b := make([]byte, 0, fixedSize+2+len(g.Issuer)+len(g.Arbiter)+macSize)
 	b = append(b, Version)
 	b = binary.BigEndian.AppendUint32(b, uint32(k.ID))
-	b = append(b, g.Ledger[:]...)
-	b = binary.BigEndian.AppendUint64(b, g.Pos.Epoch)
-	b = binary.BigEndian.AppendUint64(b, g.Pos.Offset)
+	b = append(b, g.GuardID[:]...)
+	b = binary.BigEndian.AppendUint64(b, g.Position.Epoch)
+	b = binary.BigEndian.AppendUint64(b, g.Position.Offset)
 	b = binary.BigEndian.AppendUint64(b, uint64(now.UnixMilli()))
-	b = binary.BigEndian.AppendUint32(b, uint32(g.Life.Milliseconds()))
-	bind := k.Bind(g.FlowKey, g.Group)
+	b = binary.BigEndian.AppendUint32(b, uint32(g.Lifetime.Milliseconds()))
+	bind := k.BindingFor(g.FlowKey, g.Group)
 	b = append(b, bind[:]...)
 	b = append(b, g.Nonce[:]...)
 	b = append(append(b, byte(len(g.Issuer))), g.Issuer...)
@@ -131,41 +131,41 @@
 
 // Open reads a token and checks its seal, in constant memory whatever the text.
 // It says nothing of whose the token is or whether it has expired.
-func Open(r *Ring, text string) (Token, error) {
+func Open(r *KeyRing, text string) (Token, error) {
 	// The decoder passes over line ends, which would make one token of many texts.
-	if len(text) > MaxText || strings.ContainsAny(text, "\r\n") {
+	if len(text) > MaxEncodedLength || strings.ContainsAny(text, "\r\n") {
 		return Token{}, ErrMalformed
 	}
-	var room [MaxText]byte
+	var room [MaxEncodedLength]byte
 	n, err := encoding.Decode(room[:], []byte(text))
 	b := room[:n]
 	if err != nil || n == 0 {
 		return Token{}, ErrMalformed
 	}
 	if b[0] != Version {
-		return Token{}, ErrVersion
+		return Token{}, ErrUnsupportedVersion
 	}
 	if n < fixedSize+2+macSize {
 		return Token{}, ErrMalformed
 	}
 	sealed, mac := b[:n-macSize], b[n-macSize:]
-	t := Token{Key: KeyID(binary.BigEndian.Uint32(b[1:]))}
-	k, ok := r.Get(t.Key)
+	t := Token{KeyID: KeyID(binary.BigEndian.Uint32(b[1:]))}
+	k, ok := r.Get(t.KeyID)
 	if !ok {
-		return Token{}, ErrKey
+		return Token{}, ErrUnknownKey
 	}
 	if !hmac.Equal(k.seal(sealed), mac) {
-		return Token{}, ErrForged
+		return Token{}, ErrBadMAC
 	}
 	// Sealed by one of ours: what follows is as Mint wrote it, but for lengths,
 	// which are checked all the same.
 	rest := sealed[5:]
-	rest = rest[copy(t.Ledger[:], rest):]
-	t.Pos = Position{binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:])}
-	t.Issued = time.UnixMilli(int64(binary.BigEndian.Uint64(rest[16:])))
-	t.Expires = t.Issued.Add(time.Duration(binary.BigEndian.Uint32(rest[24:])) * time.Millisecond)
+	rest = rest[copy(t.GuardID[:], rest):]
+	t.Position = Position{binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:])}
+	t.IssuedAt = time.UnixMilli(int64(binary.BigEndian.Uint64(rest[16:])))
+	t.ExpiresAt = t.IssuedAt.Add(time.Duration(binary.BigEndian.Uint32(rest[24:])) * time.Millisecond)
 	rest = rest[28:]
-	rest = rest[copy(t.Bind[:], rest):]
+	rest = rest[copy(t.Binding[:], rest):]
 	rest = rest[copy(t.Nonce[:], rest):]
 	if t.Issuer, rest, ok = name(rest); !ok {
 		return Token{}, ErrMalformed
@@ -177,7 +177,7 @@
 }
 
 func name(b []byte) (string, []byte, bool) {
-	if len(b) == 0 || len(b)-1 < int(b[0]) || b[0] > MaxName {
+	if len(b) == 0 || len(b)-1 < int(b[0]) || b[0] > MaxNameLength {
 		return "", nil, false
 	}
 	n := 1 + int(b[0])
@@ -185,13 +185,13 @@
 }
 
 // Belongs tells whether the token is that of a client with this flow key and group.
-func (t *Token) Belongs(r *Ring, flowKey, group string) error {
-	k, ok := r.Get(t.Key)
+func (t *Token) VerifyClient(r *KeyRing, flowKey, group string) error {
+	k, ok := r.Get(t.KeyID)
 	if !ok {
-		return ErrKey
+		return ErrUnknownKey
 	}
-	if want := k.Bind(flowKey, group); !hmac.Equal(want[:], t.Bind[:]) {
-		return ErrStranger
+	if want := k.BindingFor(flowKey, group); !hmac.Equal(want[:], t.Binding[:]) {
+		return ErrWrongClient
 	}
 	return nil
 }
@@ -199,12 +199,12 @@
 // Fresh tells whether the token is within its life, by a clock that may differ
 // from the issuer's by skew. The arbiter's word on expiry is given with no skew;
 // a redeemer's is only to spare the question.
-func (t *Token) Fresh(now time.Time, skew, leeway time.Duration) error {
+func (t *Token) VerifyTime(now time.Time, skew, leeway time.Duration) error {
 	switch {
-	case !now.Before(t.Expires.Add(leeway)):
+	case !now.Before(t.ExpiresAt.Add(leeway)):
 		return ErrExpired
-	case t.Issued.After(now.Add(skew)):
-		return ErrFuture
+	case t.IssuedAt.After(now.Add(skew)):
+		return ErrNotYetValid
 	}
 	return nil
 }
--- a/internal/resumetoken/token_test.go
+++ b/internal/resumetoken/token_test.go
@@ -19,23 +19,23 @@
 	return k
 }
 
-func testRing(t testing.TB, keys ...*Key) *Ring {
+func testRing(t testing.TB, keys ...*Key) *KeyRing {
 	if len(keys) == 0 {
 		keys = []*Key{testKey(t, 1, now.Add(-time.Hour))}
 	}
-	r, err := NewRing(keys...)
+	r, err := NewKeyRing(keys...)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return r
 }
 
-func grant() Grant {
-	return Grant{Issuer: "n1", Arbiter: "n2", Ledger: LedgerID{9}, Pos: Position{0xc0, 41}, FlowKey: "k7", Group: "g1",
-		Life: time.Minute, Nonce: Nonce{1, 2, 3}}
+func grant() Claims {
+	return Claims{Issuer: "n1", Arbiter: "n2", GuardID: GuardID{9}, Position: Position{0xc0, 41}, FlowKey: "k7", Group: "g1",
+		Lifetime: time.Minute, Nonce: Nonce{1, 2, 3}}
 }
 
-func mint(t testing.TB, r *Ring, at time.Time) string {
+func mint(t testing.TB, r *KeyRing, at time.Time) string {
 	text, err := Mint(r, at, grant())
 	if err != nil {
 		t.Fatal(err)
@@ -45,32 +45,32 @@
 
 func TestTokenSaysWhatWasGranted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ring, err := NewRing(mustKey(t))
+		ring, err := NewKeyRing(mustKey(t))
 		if err != nil {
 			t.Fatal(err)
 		}
-		name := rapid.StringN(1, -1, MaxName)
-		g := Grant{Issuer: name.Draw(t, "issuer"), Arbiter: name.Draw(t, "arbiter"),
-			Pos:     Position{rapid.Uint64().Draw(t, "epoch"), rapid.Uint64().Draw(t, "offset")},
-			FlowKey: rapid.String().Draw(t, "key"), Group: rapid.String().Draw(t, "group"),
-			Life:  time.Duration(rapid.Int64Range(1, MaxLife.Milliseconds()).Draw(t, "life")) * time.Millisecond,
-			Nonce: Nonce(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "nonce"))}
+		name := rapid.StringN(1, -1, MaxNameLength)
+		g := Claims{Issuer: name.Draw(t, "issuer"), Arbiter: name.Draw(t, "arbiter"),
+			Position: Position{rapid.Uint64().Draw(t, "epoch"), rapid.Uint64().Draw(t, "offset")},
+			FlowKey:  rapid.String().Draw(t, "key"), Group: rapid.String().Draw(t, "group"),
+			Lifetime: time.Duration(rapid.Int64Range(1, MaxLifetime.Milliseconds()).Draw(t, "life")) * time.Millisecond,
+			Nonce:    Nonce(rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "nonce"))}
 		text, err := Mint(ring, now, g)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(text) > MaxText || strings.ContainsAny(text, ", =\r\n") {
+		if len(text) > MaxEncodedLength || strings.ContainsAny(text, ", =\r\n") {
 			t.Fatalf("%d bytes: %q", len(text), text)
 		}
 		got, err := Open(ring, text)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got.Issuer != g.Issuer || got.Arbiter != g.Arbiter || got.Pos != g.Pos || got.Nonce != g.Nonce ||
-			!got.Issued.Equal(now) || !got.Expires.Equal(now.Add(g.Life)) || got.Belongs(ring, g.FlowKey, g.Group) != nil {
+		if got.Issuer != g.Issuer || got.Arbiter != g.Arbiter || got.Position != g.Position || got.Nonce != g.Nonce ||
+			!got.IssuedAt.Equal(now) || !got.ExpiresAt.Equal(now.Add(g.Lifetime)) || got.VerifyClient(ring, g.FlowKey, g.Group) != nil {
 			t.Fatalf("got %+v of %+v", got, g)
 		}
-		if other := g.FlowKey + "x"; got.Belongs(ring, other, g.Group) == nil {
+		if other := g.FlowKey + "x"; got.VerifyClient(ring, other, g.Group) == nil {
 			t.Fatal("it belongs to another client too")
 		}
 	})
@@ -105,8 +105,8 @@
 		text string
 		err  error
 	}{
-		"future version": {"Ag" + text[2:], ErrVersion},
-		"no such key":    {mint(t, testRing(t, testKey(t, 5, now)), now), ErrKey},
+		"future version": {"Ag" + text[2:], ErrUnsupportedVersion},
+		"no such key":    {mint(t, testRing(t, testKey(t, 5, now)), now), ErrUnknownKey},
 		"endless":        {strings.Repeat("A", 5000), ErrMalformed},
 		"empty":          {"", ErrMalformed},
 	} {
@@ -118,7 +118,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(testRing(t, other), text); !errors.Is(err, ErrForged) {
+	if _, err := Open(testRing(t, other), text); !errors.Is(err, ErrBadMAC) {
 		t.Errorf("another secret under the same id: %v", err)
 	}
 }
@@ -131,17 +131,17 @@
 	before, after := mint(t, both, now), mint(t, both, now.Add(time.Minute))
 	for text, id := range map[string]KeyID{before: 1, after: 2} {
 		got, err := Open(both, text)
-		if err != nil || got.Key != id {
-			t.Errorf("key %v, %v, want %v", got.Key, err, id)
+		if err != nil || got.KeyID != id {
+			t.Errorf("key %v, %v, want %v", got.KeyID, err, id)
 		}
 	}
-	if _, err := Open(testRing(t, second), before); !errors.Is(err, ErrKey) {
+	if _, err := Open(testRing(t, second), before); !errors.Is(err, ErrUnknownKey) {
 		t.Errorf("a removed key: %v", err)
 	}
 	if _, err := Mint(testRing(t, second), now, grant()); err == nil {
 		t.Error("minted by a key that does not sign yet")
 	}
-	if _, err := NewRing(first, testKey(t, 1, now)); err == nil {
+	if _, err := NewKeyRing(first, testKey(t, 1, now)); err == nil {
 		t.Error("two keys of one id")
 	}
 }
@@ -151,7 +151,7 @@
 	mine := Presentation{mint(t, ring, now), "k7", "g1"}
 	theirs, spoiled := mine, mine
 	theirs.FlowKey = "k8"
-	spoiled.Text = spoiled.Text[1:]
+	spoiled.Token = spoiled.Token[1:]
 	const skew = 5 * time.Second
 	for name, c := range map[string]struct {
 		p    Presentation
@@ -161,19 +161,19 @@
 	}{
 		"fresh":                    {mine, 0, 0, false},
 		"issuer's clock 2 s ahead": {mine, -2 * time.Second, 0, false},
-		"issuer's clock far ahead": {mine, -6 * time.Second, Future, true},
+		"issuer's clock far ahead": {mine, -6 * time.Second, NotYetValid, true},
 		"expired by a second":      {mine, 61 * time.Second, 0, false}, // our clock may be ahead: its arbiter says
 		"expired beyond doubt":     {mine, 66 * time.Second, Expired, true},
-		"another client's":         {theirs, 0, Stranger, false},
-		"cut short":                {spoiled, 0, Forged, false},
+		"another client's":         {theirs, 0, WrongClient, false},
+		"cut short":                {spoiled, 0, Invalid, false},
 	} {
-		_, o, settled := Begin(ring, now.Add(c.at), c.p, skew)
-		if settled != (c.why != 0) || o.Why != c.why || o.Floor != c.seen || o.Resume {
+		_, o, settled := BeginRedemption(ring, now.Add(c.at), c.p, skew)
+		if settled != (c.why != 0) || o.Verdict != c.why || o.HasMinPosition != c.seen || o.CanResume {
 			t.Errorf("%s: %+v, settled %v", name, o, settled)
 		}
 	}
-	r, _, _ := Begin(ring, now, mine, skew)
-	if o, ok := r.Answered(Granted); !ok || !o.Resume || o.Pos != (Position{0xc0, 41}) || o.Nonce != (Nonce{1, 2, 3}) {
+	r, _, _ := BeginRedemption(ring, now, mine, skew)
+	if o, ok := r.Complete(Granted); !ok || !o.CanResume || o.Position != (Position{0xc0, 41}) || o.Nonce != (Nonce{1, 2, 3}) {
 		t.Errorf("granted: %+v, %v", o, ok)
 	}
 }
@@ -184,11 +184,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	me, other := Claimant{1}, Claimant{2}
+	me, other := RedemptionID{1}, RedemptionID{2}
 	for name, c := range map[string]struct {
 		change func(*Arbiter)
 		at     time.Duration
-		had    *Claimant
+		had    *RedemptionID
 		want   Verdict
 		fresh  bool
 	}{
@@ -200,19 +200,19 @@
 		"at its end":                     {at: time.Minute, want: Expired},
 		"expired by a second":            {at: 61 * time.Second, want: Expired},
 		"clock 2 s behind the issuer's":  {at: -2 * time.Second, want: Granted, fresh: true},
-		"clock 6 s behind":               {at: -6 * time.Second, want: Future},
-		"another ledger":                 {change: func(a *Arbiter) { a.ID = LedgerID{8} }, want: Foreign},
-		"full":                           {change: func(a *Arbiter) { a.Kept = 3 }, want: Full},
-		"full, asked again by the same":  {change: func(a *Arbiter) { a.Kept = 3 }, had: &me, want: Granted},
-		"clock set back behind the mark": {change: func(a *Arbiter) { a.Swept = WindowOf(tok.Expires) }, at: -time.Hour, want: Expired},
+		"clock 6 s behind":               {at: -6 * time.Second, want: NotYetValid},
+		"another ledger":                 {change: func(a *Arbiter) { a.ID = GuardID{8} }, want: WrongGuard},
+		"full":                           {change: func(a *Arbiter) { a.RecordCount = 3 }, want: GuardFull},
+		"full, asked again by the same":  {change: func(a *Arbiter) { a.RecordCount = 3 }, had: &me, want: Granted},
+		"clock set back behind the mark": {change: func(a *Arbiter) { a.SweptThrough = WindowOf(tok.ExpiresAt) }, at: -time.Hour, want: Expired},
 	} {
-		a := Arbiter{ID: LedgerID{9}, Limit: 3, Skew: 5 * time.Second}
+		a := Arbiter{ID: GuardID{9}, MaxRecords: 3, ClockSkew: 5 * time.Second}
 		if c.change != nil {
 			c.change(&a)
 		}
-		v, fresh := a.Judge(now.Add(c.at), &tok, me, func(w Window, n Nonce) (Claimant, bool) {
-			if c.had == nil || w != WindowOf(tok.Expires) || n != tok.Nonce {
-				return Claimant{}, false
+		v, fresh := a.Decide(now.Add(c.at), &tok, me, func(w Window, n Nonce) (RedemptionID, bool) {
+			if c.had == nil || w != WindowOf(tok.ExpiresAt) || n != tok.Nonce {
+				return RedemptionID{}, false
 			}
 			return *c.had, true
 		})
@@ -223,28 +223,28 @@
 }
 
 func TestChoose(t *testing.T) {
-	self := Member{Name: "n1", Ready: true, Stays: true}
-	peers := []Member{{Name: "n2", Ready: true}, {Name: "n3", Ready: true}, {Name: "n4"}}
-	if m, ok := Choose(self, false, peers, Nonce{}); !ok || m.Name != "n1" {
+	self := Candidate{Name: "n1", IsReady: true, IsDurable: true}
+	peers := []Candidate{{Name: "n2", IsReady: true}, {Name: "n3", IsReady: true}, {Name: "n4"}}
+	if m, ok := ChooseArbiter(self, false, peers, Nonce{}); !ok || m.Name != "n1" {
 		t.Errorf("it stays: %v", m)
 	}
 	count := map[string]int{}
 	for i := range 256 {
-		m, _ := Choose(self, true, peers, Nonce{byte(i)})
+		m, _ := ChooseArbiter(self, true, peers, Nonce{byte(i)})
 		count[m.Name]++
 	}
 	if count["n1"]+count["n4"] > 0 || count["n2"] < 64 || count["n3"] < 64 {
 		t.Errorf("it leaves: %v", count)
 	}
-	if m, ok := Choose(self, true, nil, Nonce{}); !ok || m.Name != "n1" {
+	if m, ok := ChooseArbiter(self, true, nil, Nonce{}); !ok || m.Name != "n1" {
 		t.Error("alone, with a ledger that survives, it is still the arbiter")
 	}
-	self.Stays = false
-	if _, ok := Choose(self, true, nil, Nonce{}); ok {
+	self.IsDurable = false
+	if _, ok := ChooseArbiter(self, true, nil, Nonce{}); ok {
 		t.Error("nobody could arbitrate, and one was named")
 	}
-	full := Member{Name: "n1"}
-	if m, ok := Choose(full, false, peers, Nonce{}); !ok || m.Name == "n1" {
+	full := Candidate{Name: "n1"}
+	if m, ok := ChooseArbiter(full, false, peers, Nonce{}); !ok || m.Name == "n1" {
 		t.Errorf("its ledger is full, and %v was named", m.Name)
 	}
 }
@@ -280,7 +280,7 @@
 			for b.Loop() {
 				tok, err := Open(ring, text)
 				if err == nil {
-					err = tok.Belongs(ring, "k7", "g1")
+					err = tok.VerifyClient(ring, "k7", "g1")
 				}
 				if (err == nil) != (name == "good") {
 					b.Fatal(err)
--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -32,7 +32,7 @@
 		c.token = o.ResumeToken
 	}
 	if pos, err := resumetoken.ParsePosition(o.ResumePosition); err == nil {
-		c.floor = resumetoken.Outcome{Floor: true, Pos: pos}
+		c.floor = resumetoken.Outcome{HasMinPosition: true, Position: pos}
 	}
 	o.StripResumption()
 	return c
@@ -58,11 +58,11 @@
 	}
 	o := c.floor
 	if c.token != "" {
-		got := c.tokens.Redeem(ctx, resumetoken.Presentation{Text: c.token, FlowKey: c.key, Group: c.group})
+		got := c.tokens.Redeem(ctx, resumetoken.Presentation{Token: c.token, FlowKey: c.key, Group: c.group})
 		// Spent, a token still proves what its caller has seen; the caller itself may
 		// say that it has seen more since.
-		later := o.Floor && o.Pos.Epoch == got.Pos.Epoch && o.Pos.Offset > got.Pos.Offset
-		if got.Resume || got.Floor && !later {
+		later := o.HasMinPosition && o.Position.Epoch == got.Position.Epoch && o.Position.Offset > got.Position.Offset
+		if got.CanResume || got.HasMinPosition && !later {
 			o = got
 		}
 	}
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -55,7 +55,7 @@
 	keys    string
 
 	mu      sync.Mutex
-	ring    *resumetoken.Ring
+	ring    *resumetoken.KeyRing
 	tokens  []shown                          // the latest, for those who present them again
 	owners  map[string]string                // by nonce likewise: the client that was given it
 	honored map[string]string                // by nonce in hexadecimal digits: where
