--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -30,8 +30,8 @@
 }
 
 func zoneGuards() zonestatus.Guards {
-	return zonestatus.Guards{Panic: mutation.Enabled("panic"), Return: mutation.Enabled("return"), Accuse: mutation.Enabled("accuse"),
-		Hold: mutation.Enabled("hold"), Viewpoint: mutation.Enabled("viewpoint"), Quorum: mutation.Enabled("quorum")}
+	return zonestatus.Guards{PanicThreshold: mutation.Enabled("panic"), RecoveryRamp: mutation.Enabled("return"), ReporterConnectivity: mutation.Enabled("accuse"),
+		HoldDown: mutation.Enabled("hold"), ObservingZone: mutation.Enabled("viewpoint"), Quorum: mutation.Enabled("quorum")}
 }
 
 // keepRecord opens the record and runs it until ctx ends.
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -48,8 +48,8 @@
 type Agent struct {
 	Options
 	began   time.Duration
-	alone   *zonestatus.Alone
-	watch   *zonestatus.Watch
+	alone   *zonestatus.IsolatedController
+	watch   *zonestatus.Controller
 	deaf    bool          // it was said that the record is not heard
 	out     chan struct{} // holds one while a proposal is under way
 	keeping *keeping      // nil without promises
@@ -64,8 +64,8 @@
 func New(o Options) *Agent {
 	a := &Agent{Options: o, began: o.Clock(), out: make(chan struct{}, 1)}
 	if o.Zones != nil {
-		a.alone, a.watch = zonestatus.NewAlone(*o.Zones), zonestatus.NewWatch(*o.Zones)
-		a.alone.Ignore, a.watch.Ignore = o.Guards, o.Guards
+		a.alone, a.watch = zonestatus.NewIsolatedController(*o.Zones), zonestatus.NewController(*o.Zones)
+		a.alone.DisabledGuards, a.watch.DisabledGuards = o.Guards, o.Guards
 	}
 	if o.Accounts != nil {
 		a.dealing.cfg, a.dealing.jobs = *o.Accounts, make(chan job, 1)
@@ -117,9 +117,9 @@
 	switch {
 	case a.Zones == nil:
 	case heard:
-		d.Bounds, d.Over = state.Bounds(a.Zone), state.Over
+		d.Bounds, d.Over = state.TrafficLimits(a.Zone), state.Shed
 	default:
-		d.Bounds, d.Over = a.alone.Step(now, state, a.Member.Own()), state.Over
+		d.Bounds, d.Over = a.alone.Evaluate(now, state, a.Member.Own()), state.Shed
 	}
 	a.Member.Decide(d)
 	a.mu.Lock()
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -123,7 +123,7 @@
 		w.ledger.stuck = true
 		w.failed["c"] = 1
 		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.ledger.stuck = false }})
-		if s := w.ledger.View().State; w.ledger.most != 1 || len(s.Zones.Bounds("a")) != 1 || w.ledger.asked != 0 {
+		if s := w.ledger.View().State; w.ledger.most != 1 || len(s.Zones.TrafficLimits("a")) != 1 || w.ledger.asked != 0 {
 			t.Errorf("%d proposals at once, then %+v", w.ledger.most, s.Zones)
 		}
 	})
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -99,9 +99,9 @@
 		}
 		if v.State != nil {
 			s.Index, s.Hash, s.Version = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
-			for _, z := range v.State.Zones.Seen {
-				s.Postures = append(s.Postures, agentapi.Seen{From: z.From, To: z.To, Posture: z.Posture.String(), Share: z.Share,
-					Step: z.Step, Rate: z.Rate, Since: z.Since, Until: z.Until, Fails: z.Fails})
+			for _, z := range v.State.Zones.Pairs {
+				s.Postures = append(s.Postures, agentapi.Seen{From: z.From, To: z.To, Posture: z.Status.String(), Share: z.Share,
+					Step: z.Step, Rate: z.Rate, Since: z.ChangedAt, Until: z.HeldUntil, Fails: z.Failures})
 			}
 		}
 	}
--- a/internal/fleet/agent/promises_regions.go
+++ b/internal/fleet/agent/promises_regions.go
@@ -58,7 +58,7 @@
 
 // regions says what each region bears and which part of it postures leave, by what members
 // see. Regions are named sets of zones, and zones that are in none.
-func (k *keeping) regions(s zonestatus.State, words []zonestatus.Word, members []zonestatus.Member) []slo.Region {
+func (k *keeping) regions(s zonestatus.State, words []zonestatus.Report, members []zonestatus.Member) []slo.Region {
 	from, seen := map[string]bool{k.zone: true}, map[string]*sight{}
 	alive := map[string]bool{k.name: true}
 	for _, m := range members {
@@ -67,17 +67,17 @@
 		}
 	}
 	for _, w := range words {
-		for _, z := range w.Sights {
+		for _, z := range w.Observations {
 			if !alive[w.Member] {
 				break
 			}
-			if seen[z.To] == nil {
-				seen[z.To] = &sight{}
+			if seen[z.Zone] == nil {
+				seen[z.Zone] = &sight{}
 			}
-			warm := float64(z.Servers-z.Cold) + float64(z.Cold)*k.Zones.Cold
-			seen[z.To].servers = append(seen[z.To].servers, warm)
+			warm := float64(z.Endpoints-z.WarmingUp) + float64(z.WarmingUp)*k.Zones.ColdCapacityFraction
+			seen[z.Zone].servers = append(seen[z.Zone].servers, warm)
 			if z.Load >= 0 {
-				seen[z.To].loads = append(seen[z.To].loads, z.Load)
+				seen[z.Zone].loads = append(seen[z.Zone].loads, z.Load)
 			}
 		}
 	}
@@ -86,7 +86,7 @@
 	of := map[string]*slo.Region{}
 	for _, name := range slices.Sorted(maps.Keys(seen)) {
 		z, region := seen[name], cmp.Or(k.Zones.RegionOf(name), name)
-		bears := median(z.servers) * k.Zones.Bears / float64(max(k.Pace, 1))
+		bears := median(z.servers) * k.Zones.EndpointSetupRate / float64(max(k.Pace, 1))
 		usable, load := 1.0, -1.0
 		if share, bounded := left[name]; bounded {
 			usable = share
@@ -126,7 +126,7 @@
 func postures(s zonestatus.State, from map[string]bool) (share, rate map[string]float64) {
 	share, rate = map[string]float64{}, map[string]float64{}
 	for _, viewpoint := range slices.Sorted(maps.Keys(from)) {
-		for _, b := range s.Bounds(viewpoint) {
+		for _, b := range s.TrafficLimits(viewpoint) {
 			if least, ok := share[b.Zone]; !ok || b.Share < least {
 				share[b.Zone] = b.Share
 			}
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -11,15 +11,15 @@
 // Regions are what members see together, within what postures leave; who says too much
 // changes nothing, nor does who has left.
 func TestRegions(t *testing.T) {
-	cfg := zonestatus.Default()
+	cfg := zonestatus.DefaultConfig()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
 	k := &keeping{Promises: Promises{Config: slo.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
 	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
-	see := func(member string, servers int, load float64) zonestatus.Word {
-		return zonestatus.Word{Member: member, Sights: []zonestatus.Sight{{To: "a", Servers: servers, Load: load}, {To: "b", Servers: servers, Load: -1}, {To: "c", Servers: servers, Cold: servers, Load: load}}}
+	see := func(member string, servers int, load float64) zonestatus.Report {
+		return zonestatus.Report{Member: member, Observations: []zonestatus.Observation{{Zone: "a", Endpoints: servers, Load: load}, {Zone: "b", Endpoints: servers, Load: -1}, {Zone: "c", Endpoints: servers, WarmingUp: servers, Load: load}}}
 	}
-	words := []zonestatus.Word{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
-	state := zonestatus.State{Seen: []zonestatus.Seen{{From: "a", To: "b", Posture: zonestatus.Left}, {From: "b", To: "a", Share: 0.5}}}
+	words := []zonestatus.Report{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
+	state := zonestatus.State{Pairs: []zonestatus.PairStatus{{From: "a", To: "b", Status: zonestatus.Evacuated}, {From: "b", To: "a", Share: 0.5}}}
 	want := []slo.Region{{Name: "a", Usable: 0.5, Capacity: 20, Other: 8, Load: 0.4}, {Name: "south", Capacity: 26, Usable: 6.0 / 26, Load: 0.4 * 6 / 26}}
 	want[1].Other = 0 // below a tenth of what it bears
 	for i, r := range k.regions(state, words, members) {
--- a/internal/fleet/gossip/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -52,9 +52,9 @@
 
 // Decided is what the record, or this member by itself, has decided for its node.
 type Decided struct {
-	Index  uint64             // of the record as this member serves it
-	Bounds []zonestatus.Bound // zones that are not named are not bounded
-	Over   float64            // share of first arrivals that is refused at once
+	Index  uint64                    // of the record as this member serves it
+	Bounds []zonestatus.TrafficLimit // zones that are not named are not bounded
+	Over   float64                   // share of first arrivals that is refused at once
 }
 
 // NewAgent returns a member by that name that knows nobody.
@@ -100,7 +100,7 @@
 	return g
 }
 
-func (a *Agent) zoneGrant(now time.Duration, b zonestatus.Bound, spent bool) balance.ZoneQuota {
+func (a *Agent) zoneGrant(now time.Duration, b zonestatus.TrafficLimit, spent bool) balance.ZoneQuota {
 	g := balance.ZoneQuota{Zone: b.Zone, Share: b.Share, Tokens: -1}
 	if b.Rate > 0 {
 		if g.Tokens = 0; !spent {
--- a/internal/fleet/gossip/roster.go
+++ b/internal/fleet/gossip/roster.go
@@ -77,7 +77,7 @@
 }
 
 // Words returns what each member saw last of the zones, by name.
-func (a *Agent) Words() (all []zonestatus.Word) {
+func (a *Agent) Words() (all []zonestatus.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(a.words)) {
@@ -89,7 +89,7 @@
 }
 
 // Own returns what this member's node saw last.
-func (a *Agent) Own() zonestatus.Word {
+func (a *Agent) Own() zonestatus.Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.words[a.name]
@@ -98,10 +98,10 @@
 }
 
 // zones is the evidence in a word.
-func (w word) zones() zonestatus.Word {
-	z := zonestatus.Word{Member: w.Member, From: w.Zone, At: w.At, Sights: make([]zonestatus.Sight, len(w.Sights))}
+func (w word) zones() zonestatus.Report {
+	z := zonestatus.Report{Member: w.Member, Zone: w.Zone, ReportedAt: w.At, Observations: make([]zonestatus.Observation, len(w.Sights))}
 	for i, s := range w.Sights {
-		z.Sights[i] = zonestatus.Sight(s)
+		z.Observations[i] = zonestatus.Observation(s)
 	}
 	return z
 }
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -27,8 +27,8 @@
 			}},
 		Zone: "zone-b", Index: 116,
 		Sights: []sight{
-			{To: "zone-c", Servers: 30, Bad: 3, Tried: 12, Asked: 21.5, Failed: 7.25, Load: 0.375, Cold: 4},
-			{To: "zone-d", Servers: 31, Bad: 5, Tried: 13, Asked: 22.5, Failed: 8.25, Load: 0.625, Cold: 6},
+			{Zone: "zone-c", Endpoints: 30, Failing: 3, Attempted: 12, Attempts: 21.5, FailedAttempts: 7.25, Load: 0.375, WarmingUp: 4},
+			{Zone: "zone-d", Endpoints: 31, Failing: 5, Attempted: 13, Attempts: 22.5, FailedAttempts: 8.25, Load: 0.625, WarmingUp: 6},
 		},
 	}
 }
--- a/internal/fleet/gossip/word.go
+++ b/internal/fleet/gossip/word.go
@@ -35,21 +35,21 @@
 
 // sight is a zone.Sight that is written as [to, servers, bad, tried, asked, failed, load, cold],
 // figures with three digits.
-type sight zonestatus.Sight
+type sight zonestatus.Observation
 
 // MarshalJSON writes it.
 func (s sight) MarshalJSON() ([]byte, error) {
-	to, err := json.Marshal(s.To)
+	to, err := json.Marshal(s.Zone)
 	if err != nil {
 		return nil, err
 	}
 	digits := func(x float64) string { return strconv.FormatFloat(x, 'g', 3, 64) }
-	return fmt.Appendf(nil, "[%s,%d,%d,%d,%s,%s,%s,%d]", to, s.Servers, s.Bad, s.Tried, digits(s.Asked), digits(s.Failed), digits(s.Load), s.Cold), nil
+	return fmt.Appendf(nil, "[%s,%d,%d,%d,%s,%s,%s,%d]", to, s.Endpoints, s.Failing, s.Attempted, digits(s.Attempts), digits(s.FailedAttempts), digits(s.Load), s.WarmingUp), nil
 }
 
 // UnmarshalJSON reads it.
 func (s *sight) UnmarshalJSON(raw []byte) error {
-	fields := []any{&s.To, &s.Servers, &s.Bad, &s.Tried, &s.Asked, &s.Failed, &s.Load, &s.Cold}
+	fields := []any{&s.Zone, &s.Endpoints, &s.Failing, &s.Attempted, &s.Attempts, &s.FailedAttempts, &s.Load, &s.WarmingUp}
 	n := len(fields)
 	if err := json.Unmarshal(raw, &fields); err != nil {
 		return err
@@ -70,9 +70,9 @@
 	count := func(n int) bool { return n >= 0 && n <= 1e6 }
 	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
 	return len(w.Zone) <= longestZone && len(w.Sights) <= mostZones && !slices.ContainsFunc(w.Sights, func(s sight) bool {
-		return s.To == "" || len(s.To) > longestZone || !count(s.Servers) || !count(s.Bad) || !count(s.Tried) || !count(s.Cold) ||
-			max(s.Bad, s.Tried) > s.Servers ||
-			!good(s.Asked) || !good(s.Failed) || s.Failed > s.Asked || s.Load != -1 && !good(s.Load)
+		return s.Zone == "" || len(s.Zone) > longestZone || !count(s.Endpoints) || !count(s.Failing) || !count(s.Attempted) || !count(s.WarmingUp) ||
+			max(s.Failing, s.Attempted) > s.Endpoints ||
+			!good(s.Attempts) || !good(s.FailedAttempts) || s.FailedAttempts > s.Attempts || s.Load != -1 && !good(s.Load)
 	})
 }
 
@@ -88,21 +88,21 @@
 		}
 		s := in[x.Zone]
 		if s == nil {
-			s = &sight{To: x.Zone, Load: -1}
+			s = &sight{Zone: x.Zone, Load: -1}
 			in[x.Zone] = s
 		}
-		s.Servers++
+		s.Endpoints++
 		x.RecentAttempts = max(x.RecentAttempts, x.RecentFailures) // what ends late fades late
-		s.Asked += x.RecentAttempts
-		s.Failed += x.RecentFailures
+		s.Attempts += x.RecentAttempts
+		s.FailedAttempts += x.RecentFailures
 		if x.RecentAttempts >= asked {
-			s.Tried++
+			s.Attempted++
 		}
 		if x.RecentFailures >= failing && 2*x.RecentFailures >= x.RecentAttempts {
-			s.Bad++
+			s.Failing++
 		}
 		if x.WarmingUp {
-			s.Cold++
+			s.WarmingUp++
 		}
 		if x.Load >= 0 { // the mean, one by one
 			loads[x.Zone]++
@@ -113,9 +113,9 @@
 	for _, s := range in {
 		all = append(all, *s)
 	}
-	slices.SortFunc(all, func(a, b sight) int { return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.To, b.To)) })
+	slices.SortFunc(all, func(a, b sight) int { return cmp.Or(cmp.Compare(b.Attempts, a.Attempts), cmp.Compare(a.Zone, b.Zone)) })
 	all = all[:min(len(all), mostZones)]
-	slices.SortFunc(all, func(a, b sight) int { return cmp.Compare(a.To, b.To) })
+	slices.SortFunc(all, func(a, b sight) int { return cmp.Compare(a.Zone, b.Zone) })
 	return all
 }
 
--- a/internal/fleet/gossip/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -36,7 +36,7 @@
 		t.Errorf("%+v, %v", got, err)
 	}
 	for i := range w.Sights {
-		w.Sights[i].To = strings.Repeat("\x01", longestZone) // six bytes each
+		w.Sights[i].Zone = strings.Repeat("\x01", longestZone) // six bytes each
 	}
 	if raw := w.pack(); len(raw) > largest {
 		t.Errorf("%d bytes of zones with odd names", len(raw))
@@ -47,7 +47,7 @@
 	got := sights([]balance.ServerUsage{
 		{ID: "1", Zone: "b", Load: 0.5, RecentAttempts: 1.5, RecentFailures: 4}, {ID: "2", Zone: "b", Load: -1, RecentAttempts: 4, RecentFailures: 1, WarmingUp: true},
 		{ID: "3", Zone: "b", Load: 0.25, RecentAttempts: 0.4, RecentFailures: 0.4}, {ID: "4", Zone: "a", Load: -1}, {ID: "5"}})
-	if want := []sight{{To: "a", Servers: 1, Load: -1}, {To: "b", Servers: 3, Bad: 1, Tried: 3, Asked: 8.4, Failed: 5.4, Load: 0.375, Cold: 1}}; !reflect.DeepEqual(got, want) {
+	if want := []sight{{Zone: "a", Endpoints: 1, Load: -1}, {Zone: "b", Endpoints: 3, Failing: 1, Attempted: 3, Attempts: 8.4, FailedAttempts: 5.4, Load: 0.375, WarmingUp: 1}}; !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
--- a/internal/fleet/logentry/entry_test.go
+++ b/internal/fleet/logentry/entry_test.go
@@ -22,7 +22,7 @@
 }
 
 func over(t *testing.T, base uint64, part float64) []byte {
-	body, _ := json.Marshal(zonestatus.Change{Base: base, Zones: []string{"a", "b"}, Over: part})
+	body, _ := json.Marshal(zonestatus.Change{BaseVersion: base, Zones: []string{"a", "b"}, Shed: part})
 	return raw(t, Entry{Kind: KindZones, ProposedBy: "m1", Body: body})
 }
 
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -37,7 +37,7 @@
 	if len(g.RootKey) != 0 && len(g.RootKey) != ed25519.PublicKeySize {
 		return nil, fmt.Errorf("root: %d bytes are no Ed25519 public key", len(g.RootKey))
 	}
-	if err := g.Zones.Check(); err != nil {
+	if err := g.Zones.Validate(); err != nil {
 		return nil, err
 	}
 	raw, err := json.Marshal(g)
--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -53,10 +53,10 @@
 	_, root, _ := storedKey(1)
 	return Genesis{RootKey: root, Zones: zonestatus.Config{
 		Regions: map[string][]string{"north": {"a", "b"}, "south": {"c"}}, Zones: []string{"a", "b", "c", "d", "e"},
-		Fresh: 1100 * time.Millisecond, Skew: 210 * time.Millisecond, Confirm: 220 * time.Millisecond, Settle: 510 * time.Millisecond,
-		Steady: 2100 * time.Millisecond, Gap: 5200 * time.Millisecond, Hold: 5300 * time.Millisecond, HoldMost: 301 * time.Second,
-		Quiet: 601 * time.Second, Ramp: 11 * time.Second,
-		Enough: 3, Lost: 0.91, Most: 0.6, High: 0.86, Cold: 0.31, Multiple: 4, Bears: 12, Store: 900, Steps: []float64{0.06, 0.16, 0.36, 0.71},
+		ReportTTL: 1100 * time.Millisecond, MaxClockSkew: 210 * time.Millisecond, ConfirmInterval: 220 * time.Millisecond, EvacuationTimeout: 510 * time.Millisecond,
+		StableInterval: 2100 * time.Millisecond, MinChangeInterval: 5200 * time.Millisecond, BaseHoldInterval: 5300 * time.Millisecond, MaxHoldInterval: 301 * time.Second,
+		FailureResetInterval: 601 * time.Second, SlowStartInterval: 11 * time.Second,
+		MinAttempts: 3, UnavailableThreshold: 0.91, MaxEvacuatedFraction: 0.6, MaxUtilization: 0.86, ColdCapacityFraction: 0.31, ColdOverloadFactor: 4, EndpointSetupRate: 12, StoreSetupRate: 900, RampSteps: []float64{0.06, 0.16, 0.36, 0.71},
 	}}
 }
 
@@ -118,21 +118,21 @@
 			{Do: "drop", Path: "brew"},
 		}}},
 		{"settings", 0, struct{}{}}, // not taken, and counts in the chain
-		{"zones", 0, zonestatus.Change{Zones: zones, Over: 0.12, Set: []zonestatus.Seen{
-			{From: "a", To: "b", Posture: zonestatus.Leaving, Since: 1001, Fails: 1},
-			{From: "a", To: "c", Posture: zonestatus.Leaving, Since: 1002, Fails: 2},
-			{From: "b", To: "c", Posture: zonestatus.Leaving, Since: 1003, Fails: 3},
-			{From: "c", To: "a", Posture: zonestatus.Suspect, Share: 0.9, Since: 1004},
-			{From: "d", To: "a", Posture: zonestatus.Open, Share: 0.8, Since: 1005, Fails: 4},
-			{From: "e", To: "a", Posture: zonestatus.Leaving, Since: 1006, Fails: 5},
+		{"zones", 0, zonestatus.Change{Zones: zones, Shed: 0.12, Set: []zonestatus.PairStatus{
+			{From: "a", To: "b", Status: zonestatus.Evacuating, ChangedAt: 1001, Failures: 1},
+			{From: "a", To: "c", Status: zonestatus.Evacuating, ChangedAt: 1002, Failures: 2},
+			{From: "b", To: "c", Status: zonestatus.Evacuating, ChangedAt: 1003, Failures: 3},
+			{From: "c", To: "a", Status: zonestatus.Suspect, Share: 0.9, ChangedAt: 1004},
+			{From: "d", To: "a", Status: zonestatus.Active, Share: 0.8, ChangedAt: 1005, Failures: 4},
+			{From: "e", To: "a", Status: zonestatus.Evacuating, ChangedAt: 1006, Failures: 5},
 		}}},
-		{"zones", 0, zonestatus.Change{Base: 1, Zones: zones, Over: 0.13, Set: []zonestatus.Seen{
-			{From: "a", To: "b", Posture: zonestatus.Left, Since: 2001, Fails: 1},
-			{From: "a", To: "c", Posture: zonestatus.Left, Since: 2002, Fails: 2},
-			{From: "b", To: "c", Posture: zonestatus.Held, Since: 2003, Until: 7303, Fails: 3},
+		{"zones", 0, zonestatus.Change{BaseVersion: 1, Zones: zones, Shed: 0.13, Set: []zonestatus.PairStatus{
+			{From: "a", To: "b", Status: zonestatus.Evacuated, ChangedAt: 2001, Failures: 1},
+			{From: "a", To: "c", Status: zonestatus.Evacuated, ChangedAt: 2002, Failures: 2},
+			{From: "b", To: "c", Status: zonestatus.HeldBack, ChangedAt: 2003, HeldUntil: 7303, Failures: 3},
 		}}},
-		{"zones", 0, zonestatus.Change{Base: 2, Zones: zones, Over: 0.14, Set: []zonestatus.Seen{
-			{From: "a", To: "c", Posture: zonestatus.Returning, Step: 1, Share: 0.05, Rate: 9.5, Since: 3002, Fails: 2},
+		{"zones", 0, zonestatus.Change{BaseVersion: 2, Zones: zones, Shed: 0.14, Set: []zonestatus.PairStatus{
+			{From: "a", To: "c", Status: zonestatus.Recovering, Step: 1, Share: 0.05, Rate: 9.5, ChangedAt: 3002, Failures: 2},
 		}}},
 		{"contracts", 2, slo.Change{Set: []slo.Contract{k1, k2, k3}}},
 		{"contracts", 2, slo.Change{Base: 1, Drop: []string{"k3"}}},
--- a/internal/fleet/replog/cluster_test.go
+++ b/internal/fleet/replog/cluster_test.go
@@ -152,7 +152,7 @@
 
 // change is an entry that is taken on a version; each makes the next version.
 func change(version uint64) logentry.Entry {
-	body, _ := json.Marshal(zonestatus.Change{Base: version, Zones: []string{"z0", "z1", "z2"}, Over: float64(version%2+1) / 4})
+	body, _ := json.Marshal(zonestatus.Change{BaseVersion: version, Zones: []string{"z0", "z1", "z2"}, Shed: float64(version%2+1) / 4})
 	return logentry.Entry{Kind: logentry.KindZones, ProposedBy: "test", Body: body}
 }
 
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -72,7 +72,7 @@
 
 func TestStoredSealedState(t *testing.T) {
 	s, sealed := storedState(t)
-	if s.Index != 12 || s.Genesis.Zones.Store != 900 || s.Zones.Over != 0.14 || s.Accounts.Nodes["acme/web"].Overcommit != 1.25 ||
+	if s.Index != 12 || s.Genesis.Zones.StoreSetupRate != 900 || s.Zones.Shed != 0.14 || s.Accounts.Nodes["acme/web"].Overcommit != 1.25 ||
 		s.Contracts.Steered[0].Unkept != "no room" {
 		t.Errorf("read as %+v", s)
 	}
--- a/internal/fleet/zonestatus/back.go
+++ b/internal/fleet/zonestatus/back.go
@@ -4,15 +4,15 @@
 
 // back begins a return: where a zone that was left seems to serve again, as seen for long
 // enough from two zones that left it, or from as many as did.
-func (w *Watch) back(v *view, d *draft) {
+func (w *Controller) back(v *view, d *draft) {
 	for to, z := range v.zones {
 		left, steady, outside := 0, 0, 0
 		ready := make([]bool, len(v.zones))
 		for from, a := range v.zones {
 			p, row := v.pair(from, to), d.base.seen(a, z)
-			gone := row.Posture.gone()
+			gone := row.Status.gone()
 			t := w.held(d.now, a, z, 'b', p.answers())
-			ready[from] = t >= w.cfg.Steady || w.Ignore.Return && t >= 0
+			ready[from] = t >= w.cfg.StableInterval || w.DisabledGuards.RecoveryRamp && t >= 0
 			switch {
 			case gone && v.looks[from]:
 				if left++; ready[from] {
@@ -28,7 +28,7 @@
 		var from []string
 		for i, a := range v.zones {
 			row := d.base.seen(a, z)
-			waits := row.Posture != Left && (row.Posture != Held || d.now.Milliseconds() < row.Until)
+			waits := row.Status != Evacuated && (row.Status != HeldBack || d.now.Milliseconds() < row.HeldUntil)
 			if waits || !ready[i] && v.pair(i, to).heard > 0 {
 				continue
 			}
@@ -42,25 +42,25 @@
 }
 
 // step makes the row of a return's step.
-func (w *Watch) step(v *view, to int, row Seen, step int) Seen {
-	return Seen{From: row.From, To: row.To, Posture: Returning, Step: step, Share: w.cfg.Steps[step-1],
-		Rate: w.rate(v, to, step), Fails: row.Fails}
+func (w *Controller) step(v *view, to int, row PairStatus, step int) PairStatus {
+	return PairStatus{From: row.From, To: row.To, Status: Recovering, Step: step, Share: w.cfg.RampSteps[step-1],
+		Rate: w.rate(v, to, step), Failures: row.Failures}
 }
 
 // rate is how many set-ups a second the whole fleet may send a zone at one step. All its
 // servers come back cold at once: each bears half of what would make it fall, as it warms
 // up over the steps, and the session store keeps half for the other zones.
-func (w *Watch) rate(v *view, to, step int) float64 {
-	if w.Ignore.Return {
+func (w *Controller) rate(v *view, to, step int) float64 {
+	if w.DisabledGuards.RecoveryRamp {
 		return mostRate
 	}
 	st, warmth := &v.stocks[to], 1.0
-	if past := float64(step-1) * w.cfg.Steady.Seconds(); past < w.cfg.Ramp.Seconds() {
-		warmth = w.cfg.Cold + (1-w.cfg.Cold)*past/w.cfg.Ramp.Seconds()
+	if past := float64(step-1) * w.cfg.StableInterval.Seconds(); past < w.cfg.SlowStartInterval.Seconds() {
+		warmth = w.cfg.ColdCapacityFraction + (1-w.cfg.ColdCapacityFraction)*past/w.cfg.SlowStartInterval.Seconds()
 	}
-	rate := w.cfg.Bears * (1 - st.bad) * (st.servers - st.cold + st.cold*min(1, w.cfg.Multiple*warmth/2))
-	if w.cfg.Store > 0 {
-		rate = min(rate, w.cfg.Store/2)
+	rate := w.cfg.EndpointSetupRate * (1 - st.bad) * (st.servers - st.cold + st.cold*min(1, w.cfg.ColdOverloadFactor*warmth/2))
+	if w.cfg.StoreSetupRate > 0 {
+		rate = min(rate, w.cfg.StoreSetupRate/2)
 	}
 	return min(mostRate, max(1, math.Round(rate)))
 }
@@ -79,11 +79,11 @@
 
 // climb takes the steps of returns, and takes them back. Zones that can't tell go with
 // those that can.
-func (w *Watch) climb(v *view, d *draft) {
+func (w *Controller) climb(v *view, d *draft) {
 	for to, z := range v.zones {
 		asked, looking := 0.0, 0
 		for from, a := range v.zones {
-			if d.base.seen(a, z).Posture == Returning {
+			if d.base.seen(a, z).Status == Recovering {
 				asked += v.pair(from, to).asked
 				looking++
 			}
@@ -93,8 +93,8 @@
 		}
 		signs, on := make([]int, len(v.zones)), 0 // of which step all the sure ones go on
 		for from, a := range v.zones {
-			if row := d.base.seen(a, z); row.Posture == Returning {
-				if signs[from] = w.sign(v.pair(from, to), d, row, asked); signs[from] == good && d.age(row.Since) >= w.cfg.Steady {
+			if row := d.base.seen(a, z); row.Status == Recovering {
+				if signs[from] = w.sign(v.pair(from, to), d, row, asked); signs[from] == good && d.age(row.ChangedAt) >= w.cfg.StableInterval {
 					on = max(on, row.Step)
 				}
 			}
@@ -102,21 +102,21 @@
 		var up, down []string
 		for from, a := range v.zones {
 			row := d.base.seen(a, z)
-			if row.Posture != Returning || d.seen(a, z) != row {
+			if row.Status != Recovering || d.seen(a, z) != row {
 				continue
 			}
 			follows := signs[from] == good || signs[from] == stays && row.Step <= on && v.pair(from, to).heard == 0
 			switch {
-			case w.Ignore.Return || follows && d.age(row.Since) >= w.cfg.Steady:
-				next := Seen{From: a, To: z, Share: coarse(1 - v.pair(from, to).faint), Fails: row.Fails}
-				if row.Step < len(w.cfg.Steps) {
+			case w.DisabledGuards.RecoveryRamp || follows && d.age(row.ChangedAt) >= w.cfg.StableInterval:
+				next := PairStatus{From: a, To: z, Share: coarse(1 - v.pair(from, to).faint), Failures: row.Failures}
+				if row.Step < len(w.cfg.RampSteps) {
 					next = w.step(v, to, row, row.Step+1)
 				}
 				if d.put(next) {
 					up = append(up, a)
 				}
 			case signs[from] == part:
-				if d.put(Seen{From: a, To: z, Share: coarse(1 - v.pair(from, to).faint), Fails: row.Fails}) {
+				if d.put(PairStatus{From: a, To: z, Share: coarse(1 - v.pair(from, to).faint), Failures: row.Failures}) {
 					up = append(up, a)
 				}
 			case signs[from] == bad && row.Step > 1:
@@ -132,38 +132,38 @@
 }
 
 // sign reads the evidence for one step of a return.
-func (w *Watch) sign(p *pair, d *draft, row Seen, asked float64) int {
+func (w *Controller) sign(p *pair, d *draft, row PairStatus, asked float64) int {
 	next, sound := 1.0, 1-p.faint+0.1
-	if row.Step < len(w.cfg.Steps) {
-		next = w.cfg.Steps[row.Step]
+	if row.Step < len(w.cfg.RampSteps) {
+		next = w.cfg.RampSteps[row.Step]
 	}
 	whole := next <= sound || next == 1 && p.faint <= 0.25
-	enough := asked >= w.cfg.Enough || d.age(row.Since) >= patience*w.cfg.Steady
+	enough := asked >= w.cfg.MinAttempts || d.age(row.ChangedAt) >= patience*w.cfg.StableInterval
 	serves := p.heard > 0 && !p.lost
 	goes := w.held(d.now, row.From, row.To, 'g', serves && whole && enough)
 	ends := w.held(d.now, row.From, row.To, 'p', serves && !whole && p.faint <= back && coarse(1-p.faint) <= next)
 	falls := w.held(d.now, row.From, row.To, 'f', p.heard > 0 && sound+0.1 < row.Share)
 	quiet := w.held(d.now, row.From, row.To, 'q', p.heard == 0)
 	switch {
-	case falls >= w.cfg.Confirm || quiet >= 2*w.cfg.Steady:
+	case falls >= w.cfg.ConfirmInterval || quiet >= 2*w.cfg.StableInterval:
 		return bad
-	case goes >= w.cfg.Steady:
+	case goes >= w.cfg.StableInterval:
 		return good
-	case ends >= w.cfg.Steady:
+	case ends >= w.cfg.StableInterval:
 		return part
 	}
 	return stays
 }
 
 // level gives all rows of one zone's return the same rate: it is the whole fleet's.
-func (w *Watch) level(v *view, d *draft) {
+func (w *Controller) level(v *view, d *draft) {
 	if !d.may {
 		return
 	}
 	for to, z := range v.zones {
 		step, changed := mostSteps+1, false
 		for _, a := range v.zones {
-			if r := d.seen(a, z); r.Posture == Returning {
+			if r := d.seen(a, z); r.Status == Recovering {
 				step = min(step, r.Step)
 				changed = changed || r != d.base.seen(a, z)
 			}
@@ -172,7 +172,7 @@
 			continue
 		}
 		for _, a := range v.zones {
-			if r := d.seen(a, z); r.Posture == Returning {
+			if r := d.seen(a, z); r.Status == Recovering {
 				r.Rate = w.rate(v, to, step)
 				d.set[[2]string{a, z}] = r
 			}
--- a/internal/fleet/zonestatus/carry.go
+++ b/internal/fleet/zonestatus/carry.go
@@ -13,7 +13,7 @@
 // what they can do as they start, the failed ones for nothing.
 func (v *view) bears(to int) float64 {
 	st := &v.stocks[to]
-	return v.cfg.High * (1 - st.bad) * (st.servers - st.cold + st.cold*v.cfg.Cold)
+	return v.cfg.MaxUtilization * (1 - st.bad) * (st.servers - st.cold + st.cold*v.cfg.ColdCapacityFraction)
 }
 
 // work is what a zone's servers do, in full servers. Nobody may know the load of one that
@@ -50,7 +50,7 @@
 
 // room is what the zones that stay can take on more, but for one; rows say who stays for
 // whom.
-func (v *view) room(rows []Seen, but int) (room float64) {
+func (v *view) room(rows []PairStatus, but int) (room float64) {
 	for to, z := range v.zones {
 		work, ok := v.work(to)
 		if to == but || !ok {
@@ -58,7 +58,7 @@
 		}
 		stays := 1.0
 		for _, r := range rows {
-			if from, ok := slices.BinarySearch(v.zones, r.From); ok && r.To == z && (r.Posture.gone() || r.Posture == Returning) {
+			if from, ok := slices.BinarySearch(v.zones, r.From); ok && r.To == z && (r.Status.gone() || r.Status == Recovering) {
 				stays -= v.part[from] * (1 - r.Share)
 			}
 		}
@@ -69,22 +69,22 @@
 
 // carry reckons, for what is left now, what those who stay can't take on: it is refused at
 // once. A zone that serves nobody is left all the same, as nothing is lost by that.
-func (w *Watch) carry(v *view, d *draft) {
+func (w *Controller) carry(v *view, d *draft) {
 	moved, total := 0.0, 0.0
 	for to := range v.zones {
 		work, _ := v.work(to)
 		for from := range v.zones {
 			was, is := d.base.seen(v.zones[from], v.zones[to]), d.seen(v.zones[from], v.zones[to])
-			if was.Posture.gone() {
+			if was.Status.gone() {
 				continue // those who stay do its work already
 			}
 			total += v.part[from] * work
-			if is.Posture.gone() {
+			if is.Status.gone() {
 				moved += v.part[from] * work * was.Share
 			}
 		}
 	}
-	if moved == 0 || w.Ignore.Panic {
+	if moved == 0 || w.DisabledGuards.PanicThreshold {
 		return
 	}
 	if over := (moved - v.room(d.after(), -1)) / total; over > 0 {
@@ -95,15 +95,15 @@
 
 // ease takes back what is refused as those who stay have room again, a tenth at a time,
 // and adds to it while they are over full.
-func (w *Watch) ease(v *view, d *draft) {
-	if d.base.Over == 0 || d.over != d.base.Over || !d.may {
+func (w *Controller) ease(v *view, d *draft) {
+	if d.base.Shed == 0 || d.over != d.base.Shed || !d.may {
 		return
 	}
 	stay, n, left := 0.0, 0, false
 	for to, z := range v.zones {
 		gone := false
 		for from := range v.zones {
-			gone = gone || d.seen(v.zones[from], z).Posture.gone()
+			gone = gone || d.seen(v.zones[from], z).Status.gone()
 		}
 		if left = left || gone; !gone && v.stocks[to].load >= 0 {
 			stay += v.stocks[to].load
@@ -114,10 +114,10 @@
 	switch {
 	case !left:
 		next = 0
-	case n == 0 || d.now-w.overAt < w.cfg.Gap:
-	case stay/float64(n) < w.cfg.High-0.1:
+	case n == 0 || d.now-w.overAt < w.cfg.MinChangeInterval:
+	case stay/float64(n) < w.cfg.MaxUtilization-0.1:
 		next = max(0, math.Round((d.over-0.1)*twentieth)/twentieth)
-	case stay/float64(n) > w.cfg.High+0.15:
+	case stay/float64(n) > w.cfg.MaxUtilization+0.15:
 		next = min(mostOver, math.Round((d.over+0.05)*twentieth)/twentieth)
 	}
 	if next != d.over {
@@ -128,27 +128,27 @@
 
 // part bounds the share of a zone of which a part fails to about its sound part, in
 // quarters, but never so far that the others could not carry the rest.
-func (w *Watch) part(v *view, d *draft) {
+func (w *Controller) part(v *view, d *draft) {
 	rows := d.after()
 	for to, z := range v.zones {
 		least, reckoned := 0.0, false
 		var less, more []string
 		for from, a := range v.zones {
 			p, row := v.pair(from, to), d.base.seen(a, z)
-			if row.Posture != Open && row.Posture != Suspect || d.seen(a, z) != row {
+			if row.Status != Active && row.Status != Suspect || d.seen(a, z) != row {
 				continue
 			}
 			want := coarse(1 - p.bad)
-			if p.known && !p.lost && want < 1 && !w.Ignore.Panic {
+			if p.known && !p.lost && want < 1 && !w.DisabledGuards.PanicThreshold {
 				if !reckoned {
 					least, reckoned = w.least(v, rows, to), true
 				}
 				want = max(want, least)
 			}
 			told := p.known && !p.lost
-			shrink := w.held(d.now, a, z, '-', told && want < row.Share) >= w.cfg.Confirm
-			grow := w.held(d.now, a, z, '+', told && want > row.Share) >= w.cfg.Steady
-			if !(shrink || grow) || row.Since > 0 && d.age(row.Since) < w.cfg.Gap {
+			shrink := w.held(d.now, a, z, '-', told && want < row.Share) >= w.cfg.ConfirmInterval
+			grow := w.held(d.now, a, z, '+', told && want > row.Share) >= w.cfg.StableInterval
+			if !(shrink || grow) || row.ChangedAt > 0 && d.age(row.ChangedAt) < w.cfg.MinChangeInterval {
 				continue
 			}
 			row.Share = want
@@ -167,7 +167,7 @@
 }
 
 // least is the share of a zone's work that the others can't carry.
-func (w *Watch) least(v *view, rows []Seen, to int) float64 {
+func (w *Controller) least(v *view, rows []PairStatus, to int) float64 {
 	work, ok := v.work(to)
 	if !ok || work == 0 {
 		return 0
--- a/internal/fleet/zonestatus/evidence.go
+++ b/internal/fleet/zonestatus/evidence.go
@@ -14,12 +14,12 @@
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
 type Guards struct {
-	Panic     bool // leave however little stays
-	Return    bool // come back at once, without evidence or budget
-	Accuse    bool // believe those who reach hardly anybody
-	Hold      bool // hold nothing that fails again
-	Viewpoint bool // what one zone sees is so for all
-	Quorum    bool // one member's word is enough
+	PanicThreshold       bool // leave however little stays
+	RecoveryRamp         bool // come back at once, without evidence or budget
+	ReporterConnectivity bool // believe those who reach hardly anybody
+	HoldDown             bool // hold nothing that fails again
+	ObservingZone        bool // what one zone sees is so for all
+	Quorum               bool // one member's word is enough
 }
 
 const (
@@ -74,38 +74,38 @@
 }
 
 // true words only: what comes from outside may be anything.
-func (w *Word) sound() bool {
+func (w *Report) sound() bool {
 	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return len(w.Sights) <= mostSights && !slices.ContainsFunc(w.Sights, func(s Sight) bool {
-		return !isName(s.To) || s.Servers < 0 || s.Servers > 1e6 || s.Bad < 0 || s.Bad > s.Servers || s.Tried < 0 || s.Tried > s.Servers ||
-			s.Cold < 0 || s.Cold > s.Servers || !good(s.Asked) || !good(s.Failed) || s.Failed > s.Asked+1e-6 || !(s.Load >= -1 && s.Load <= 1000)
+	return len(w.Observations) <= mostSights && !slices.ContainsFunc(w.Observations, func(s Observation) bool {
+		return !isName(s.Zone) || s.Endpoints < 0 || s.Endpoints > 1e6 || s.Failing < 0 || s.Failing > s.Endpoints || s.Attempted < 0 || s.Attempted > s.Endpoints ||
+			s.WarmingUp < 0 || s.WarmingUp > s.Endpoints || !good(s.Attempts) || !good(s.FailedAttempts) || s.FailedAttempts > s.Attempts+1e-6 || !(s.Load >= -1 && s.Load <= 1000)
 	})
 }
 
 // share is the part of the tried servers that failed.
-func (s *Sight) share() float64 {
-	if s.Tried > 0 {
-		return min(1, float64(s.Bad)/float64(s.Tried))
+func (s *Observation) share() float64 {
+	if s.Attempted > 0 {
+		return min(1, float64(s.Failing)/float64(s.Attempted))
 	}
-	return float64(s.Bad) / float64(max(s.Servers, 1))
+	return float64(s.Failing) / float64(max(s.Endpoints, 1))
 }
 
 // tells whether the member asked enough of the zone, and enough of its servers.
-func (s *Sight) tells(cfg *Config) bool {
-	return s.Servers > 0 && s.Asked >= cfg.Enough && (s.Tried == 0 || 2*s.Tried >= s.Servers)
+func (s *Observation) tells(cfg *Config) bool {
+	return s.Endpoints > 0 && s.Attempts >= cfg.MinAttempts && (s.Attempted == 0 || 2*s.Attempted >= s.Endpoints)
 }
 
 // lost tells whether the zone served the member nothing.
-func (s *Sight) lost(cfg *Config) bool {
-	return s.tells(cfg) && s.share() >= cfg.Lost && 2*s.Failed >= s.Asked
+func (s *Observation) lost(cfg *Config) bool {
+	return s.tells(cfg) && s.share() >= cfg.UnavailableThreshold && 2*s.FailedAttempts >= s.Attempts
 }
 
 // wide tells whether the member fails to reach most zones that have servers: then it may be
 // the one that is cut off.
-func (w *Word) wide(cfg *Config) bool {
+func (w *Report) wide(cfg *Config) bool {
 	all, lost := 0, 0
-	for i := range w.Sights {
-		if s := &w.Sights[i]; s.Servers > 0 {
+	for i := range w.Observations {
+		if s := &w.Observations[i]; s.Endpoints > 0 {
 			if all++; s.lost(cfg) {
 				lost++
 			}
@@ -116,24 +116,24 @@
 
 // usable returns the newest fresh word of each member that is alive, by name, where it
 // says the zone that membership says.
-func usable(cfg Config, now time.Duration, words []Word, members []Member) []*Word {
+func usable(cfg Config, now time.Duration, words []Report, members []Member) []*Report {
 	zone := make(map[string]string, len(members))
 	for _, m := range members {
 		if m.Alive {
 			zone[m.Name] = m.Zone
 		}
 	}
-	newest := make(map[string]*Word, len(members))
+	newest := make(map[string]*Report, len(members))
 	for i := range words[:min(len(words), mostWords)] {
 		w := &words[i]
-		if z, ok := zone[w.Member]; !ok || z != w.From || !w.sound() || w.At > now+cfg.Skew || now-w.At > cfg.Fresh+cfg.Skew {
+		if z, ok := zone[w.Member]; !ok || z != w.Zone || !w.sound() || w.ReportedAt > now+cfg.MaxClockSkew || now-w.ReportedAt > cfg.ReportTTL+cfg.MaxClockSkew {
 			continue
 		}
-		if old := newest[w.Member]; old == nil || old.At < w.At {
+		if old := newest[w.Member]; old == nil || old.ReportedAt < w.ReportedAt {
 			newest[w.Member] = w
 		}
 	}
-	out := make([]*Word, 0, len(newest))
+	out := make([]*Report, 0, len(newest))
 	for _, name := range slices.Sorted(maps.Keys(newest)) {
 		out = append(out, newest[name])
 	}
@@ -141,7 +141,7 @@
 }
 
 // see makes one view of all words.
-func see(cfg Config, guards Guards, now time.Duration, s State, words []Word, members []Member) *view {
+func see(cfg Config, guards Guards, now time.Duration, s State, words []Report, members []Member) *view {
 	v := &view{cfg: cfg, guards: guards}
 	heard := usable(cfg, now, words, members)
 	v.name(s, heard, members)
@@ -160,7 +160,7 @@
 			}
 		}
 	}
-	for _, r := range s.Seen {
+	for _, r := range s.Pairs {
 		v.looks[at[r.From]] = true
 	}
 	v.weigh()
@@ -175,18 +175,18 @@
 
 // name lists the zones: those of the state first, then those of members and those that two
 // words name.
-func (v *view) name(s State, heard []*Word, members []Member) {
+func (v *view) name(s State, heard []*Report, members []Member) {
 	named := map[string]int{}
 	for _, w := range heard {
-		for i := range w.Sights {
-			named[w.Sights[i].To]++
+		for i := range w.Observations {
+			named[w.Observations[i].Zone]++
 		}
 	}
 	for _, m := range members {
 		named[m.Zone] = mostWords
 	}
 	known := map[string]bool{}
-	for _, r := range s.Seen {
+	for _, r := range s.Pairs {
 		known[r.From], known[r.To] = true, true
 	}
 	for _, z := range slices.Sorted(maps.Keys(named)) {
@@ -200,13 +200,13 @@
 
 // gather adds up the words by pair, and tells which zones' members mostly reach hardly
 // anybody. A few such members in a sound zone are not heard.
-func (v *view) gather(at map[string]int, heard []*Word) (wide []bool) {
+func (v *view) gather(at map[string]int, heard []*Report) (wide []bool) {
 	said, lost := make([]int, len(v.zones)), make([]int, len(v.zones))
 	alone := make([]bool, len(heard))
 	for i, w := range heard {
-		if from, ok := at[w.From]; ok {
+		if from, ok := at[w.Zone]; ok {
 			said[from]++
-			if alone[i] = w.wide(&v.cfg) && !v.guards.Accuse; alone[i] {
+			if alone[i] = w.wide(&v.cfg) && !v.guards.ReporterConnectivity; alone[i] {
 				lost[from]++
 			}
 		}
@@ -216,13 +216,13 @@
 		wide[from] = lost[from] > 0 && 2*lost[from] >= said[from]
 	}
 	for i, w := range heard {
-		from, ok := at[w.From]
+		from, ok := at[w.Zone]
 		if !ok || alone[i] && !wide[from] {
 			continue
 		}
-		for j := range w.Sights {
-			if to, ok := at[w.Sights[j].To]; ok {
-				v.pair(from, to).add(&v.cfg, &w.Sights[j], v.alive[from])
+		for j := range w.Observations {
+			if to, ok := at[w.Observations[j].Zone]; ok {
+				v.pair(from, to).add(&v.cfg, &w.Observations[j], v.alive[from])
 			}
 		}
 	}
@@ -230,14 +230,14 @@
 }
 
 // add counts one member's sight.
-func (p *pair) add(cfg *Config, s *Sight, members int) {
-	if s.Servers == 0 {
+func (p *pair) add(cfg *Config, s *Observation, members int) {
+	if s.Endpoints == 0 {
 		return
 	}
 	if p.dims == nil {
 		p.bads, p.dims = make([]float64, 0, members), make([]float64, 0, members)
 	}
-	p.asked += s.Asked
+	p.asked += s.Attempts
 	p.dims = append(p.dims, s.share())
 	if s.tells(cfg) {
 		p.bads = append(p.bads, s.share())
--- a/internal/fleet/zonestatus/judge.go
+++ b/internal/fleet/zonestatus/judge.go
@@ -25,7 +25,7 @@
 }
 
 // stock takes the medians of what there is in each zone.
-func (v *view) stock(at map[string]int, heard []*Word) {
+func (v *view) stock(at map[string]int, heard []*Report) {
 	n := len(v.zones)
 	all := make([][4][]float64, n)
 	for i := range all {
@@ -34,14 +34,14 @@
 		}
 	}
 	for _, w := range heard {
-		for i := range w.Sights {
-			s := &w.Sights[i]
-			to, ok := at[s.To]
+		for i := range w.Observations {
+			s := &w.Observations[i]
+			to, ok := at[s.Zone]
 			if !ok {
 				continue
 			}
-			all[to][0] = append(all[to][0], float64(s.Servers))
-			all[to][1] = append(all[to][1], float64(s.Cold))
+			all[to][0] = append(all[to][0], float64(s.Endpoints))
+			all[to][1] = append(all[to][1], float64(s.WarmingUp))
 			if s.Load >= 0 {
 				all[to][2] = append(all[to][2], s.Load)
 			}
@@ -67,7 +67,7 @@
 			}
 		}
 	}
-	if v.guards.Viewpoint {
+	if v.guards.ObservingZone {
 		v.alike()
 	}
 	for from := range n {
--- a/internal/fleet/zonestatus/leave.go
+++ b/internal/fleet/zonestatus/leave.go
@@ -7,7 +7,7 @@
 )
 
 // leave drafts what is left now: each zone from all that have lost it at once.
-func (w *Watch) leave(v *view, d *draft) {
+func (w *Controller) leave(v *view, d *draft) {
 	all := make([][]int, len(v.zones)) // what each zone would leave
 	for to := range v.zones {
 		for _, from := range w.accusers(v, d, to) {
@@ -23,11 +23,11 @@
 				kept[to] = append(kept[to], row.From)
 				continue
 			}
-			fails := row.Fails + 1
-			if w.Ignore.Hold {
+			fails := row.Failures + 1
+			if w.DisabledGuards.HoldDown {
 				fails = 1
 			}
-			d.put(Seen{From: row.From, To: row.To, Posture: Leaving, Fails: fails})
+			d.put(PairStatus{From: row.From, To: row.To, Status: Evacuating, Failures: fails})
 			went[to] = append(went[to], row.From)
 		}
 	}
@@ -40,8 +40,8 @@
 // accusers are the zones that leave one now. The first to have seen it for long enough
 // takes along those that see it, those that are about to are waited for a little, and
 // those that can't tell follow where it fails for everybody.
-func (w *Watch) accusers(v *view, d *draft, to int) (from []int) {
-	oldest, turning := w.cfg.Confirm-1, false
+func (w *Controller) accusers(v *view, d *draft, to int) (from []int) {
+	oldest, turning := w.cfg.ConfirmInterval-1, false
 	for a := range v.zones {
 		if !v.looks[a] {
 			continue
@@ -49,20 +49,20 @@
 		p := v.pair(a, to)
 		t := w.held(d.now, v.zones[a], v.zones[to], 'l', p.lost)
 		switch row := d.base.seen(v.zones[a], v.zones[to]); {
-		case row.Posture.gone():
+		case row.Status.gone():
 		case p.lost:
 			from, oldest = append(from, a), max(oldest, t)
 		case p.known && p.bad >= 0.5:
 			turning = true
 		}
 	}
-	if len(from) == 0 || oldest < w.cfg.Confirm || turning && oldest < 2*w.cfg.Confirm {
+	if len(from) == 0 || oldest < w.cfg.ConfirmInterval || turning && oldest < 2*w.cfg.ConfirmInterval {
 		return nil
 	}
 	if v.followed(to) {
 		for a := range v.zones {
 			p := v.pair(a, to)
-			if v.looks[a] && !p.known && !p.lost && !d.base.seen(v.zones[a], v.zones[to]).Posture.gone() {
+			if v.looks[a] && !p.known && !p.lost && !d.base.seen(v.zones[a], v.zones[to]).Status.gone() {
 				from = append(from, a)
 			}
 		}
@@ -72,11 +72,11 @@
 
 // carried is the panic rule: of the zones that one would leave, those that it may, the
 // surest first, and never the last one.
-func (w *Watch) carried(v *view, d *draft, from int, accused []int) []int {
+func (w *Controller) carried(v *view, d *draft, from int, accused []int) []int {
 	if w.alone != nil {
 		accused = w.oneUnit(v, d, from, accused)
 	}
-	if w.Ignore.Panic {
+	if w.DisabledGuards.PanicThreshold {
 		return accused
 	}
 	surest := slices.Clone(accused)
@@ -92,7 +92,7 @@
 	})
 	room := w.cfg.most(len(v.zones)) - d.base.left(v.zones[from])
 	return slices.DeleteFunc(surest, func(to int) bool {
-		if d.base.seen(v.zones[from], v.zones[to]).Posture == Returning {
+		if d.base.seen(v.zones[from], v.zones[to]).Status == Recovering {
 			return false // counted as left already
 		}
 		room--
@@ -111,14 +111,14 @@
 }
 
 // suspect names what the panic rule keeps, and takes the name back.
-func (w *Watch) suspect(v *view, d *draft, kept [][]string) {
-	d.slow, d.may = true, d.age(d.latest) >= w.cfg.Steady
+func (w *Controller) suspect(v *view, d *draft, kept [][]string) {
+	d.slow, d.may = true, d.age(d.latest) >= w.cfg.StableInterval
 	defer func() { d.slow = false }()
 	for to, z := range v.zones {
 		var named []string
 		for _, from := range kept[to] {
-			if row := d.base.seen(from, z); row.Posture == Open {
-				row.Posture = Suspect
+			if row := d.base.seen(from, z); row.Status == Active {
+				row.Status = Suspect
 				if d.put(row) {
 					named = append(named, from)
 				}
@@ -126,10 +126,10 @@
 		}
 		d.say(z, "serves nobody, and is kept for want of others", named)
 	}
-	for _, r := range d.base.Seen {
-		is := r.Posture == Suspect && !v.lost(r.From, r.To)
-		if w.held(d.now, r.From, r.To, 's', is) >= w.cfg.Steady {
-			r.Posture = Open
+	for _, r := range d.base.Pairs {
+		is := r.Status == Suspect && !v.lost(r.From, r.To)
+		if w.held(d.now, r.From, r.To, 's', is) >= w.cfg.StableInterval {
+			r.Status = Active
 			if d.put(r) {
 				d.say(r.To, "is suspect no more", []string{r.From})
 			}
--- a/internal/fleet/zonestatus/model_test.go
+++ b/internal/fleet/zonestatus/model_test.go
@@ -53,9 +53,9 @@
 			for end := w.now + d; w.now < end; {
 				before := w.state
 				w.step(250 * time.Millisecond)
-				for _, r := range w.state.Seen {
+				for _, r := range w.state.Pairs {
 					old := before.seen(r.From, r.To)
-					if r.Posture == Leaving && old.Posture != Leaving && (see == nil || see(r.From, r.To) < 1 || symbol == 'i' && r.From == "a") {
+					if r.Status == Evacuating && old.Status != Evacuating && (see == nil || see(r.From, r.To) < 1 || symbol == 'i' && r.From == "a") {
 						t.Fatalf("%s, at %c: %s leaves %s", script, symbol, r.From, r.To)
 					}
 				}
@@ -69,11 +69,11 @@
 		for i := range script {
 			play(script[i], 2500*time.Millisecond)
 		}
-		for end := w.now + 45*time.Second; w.now < end && (rows(w.state) != "" || w.state.Over != 0); {
+		for end := w.now + 45*time.Second; w.now < end && (rows(w.state) != "" || w.state.Shed != 0); {
 			play('.', 2500*time.Millisecond)
 		}
-		if got := rows(w.state); got != "" || w.state.Over != 0 {
-			t.Fatalf("%s: in the end %s, %.2f over\n%s", script, got, w.state.Over, strings.Join(w.log, "\n"))
+		if got := rows(w.state); got != "" || w.state.Shed != 0 {
+			t.Fatalf("%s: in the end %s, %.2f over\n%s", script, got, w.state.Shed, strings.Join(w.log, "\n"))
 		}
 	}
 }
@@ -94,9 +94,9 @@
 			for i := range members { // but two of each stay
 				members[i].Alive = i%w.per < 2 || rng.Float64() > loss
 			}
-			if c, why, ok := w.watch.Step(w.now, w.state, w.words(), members); ok {
+			if c, why, ok := w.watch.Evaluate(w.now, w.state, w.words(), members); ok {
 				for _, r := range c.Set {
-					if r.Posture.gone() {
+					if r.Status.gone() {
 						rt.Fatalf("%s", why)
 					}
 				}
@@ -117,20 +117,20 @@
 		bad    func(from, to string, m int) float64
 		seen   func(w *world) bool
 	}{
-		{"panic", Guards{Panic: true}, of('*'), func(w *world) bool { return w.refused > 0 }},
-		{"accuse", Guards{Accuse: true}, of('i'), func(w *world) bool { return w.state.seen("a", "c").Posture == Left }},
-		{"viewpoint", Guards{Viewpoint: true}, of('l'), func(w *world) bool { return w.state.seen("c", "b").Posture == Left }},
-		{"quorum", Guards{Quorum: true}, liar, func(w *world) bool { return w.state.seen("c", "b").Posture == Left }},
-		{"return", Guards{Return: true}, of('b'), func(w *world) bool {
+		{"panic", Guards{PanicThreshold: true}, of('*'), func(w *world) bool { return w.refused > 0 }},
+		{"accuse", Guards{ReporterConnectivity: true}, of('i'), func(w *world) bool { return w.state.seen("a", "c").Status == Evacuated }},
+		{"viewpoint", Guards{ObservingZone: true}, of('l'), func(w *world) bool { return w.state.seen("c", "b").Status == Evacuated }},
+		{"quorum", Guards{Quorum: true}, liar, func(w *world) bool { return w.state.seen("c", "b").Status == Evacuated }},
+		{"return", Guards{RecoveryRamp: true}, of('b'), func(w *world) bool {
 			w.dead(0, "b")
 			w.run(time.Second)
-			return w.state.seen("c", "b").Posture == Open
+			return w.state.seen("c", "b").Status == Active
 		}},
 	} {
 		for _, out := range []bool{false, true} {
 			w := newWorld(t, 3, 3)
 			if w.bad = tt.bad; out {
-				w.watch.Ignore = tt.ignore
+				w.watch.DisabledGuards = tt.ignore
 			}
 			w.run(3 * time.Second)
 			if tt.seen(w) != out {
@@ -166,7 +166,7 @@
 			if n := w.state.left(z); n > w.cfg.most(12) {
 				t.Fatalf("second %d: %s has left %d", second, z, n)
 			}
-			if w.state.seen("a", z).Posture == Leaving && before.seen("a", z).Posture != Leaving {
+			if w.state.seen("a", z).Status == Evacuating && before.seen("a", z).Status != Evacuating {
 				leaves[z]++
 			}
 		}
@@ -174,7 +174,7 @@
 			most, begin = max(most, w.changes-begin), w.changes
 		}
 	}
-	if most > 30 || leaves["c"] > 16 || leaves["d"] > 5 || leaves["a"]+leaves["f"]+leaves["g"] > 0 || rows(w.state) != "" || w.state.Over != 0 {
+	if most > 30 || leaves["c"] > 16 || leaves["d"] > 5 || leaves["a"]+leaves["f"]+leaves["g"] > 0 || rows(w.state) != "" || w.state.Shed != 0 {
 		t.Errorf("%d changes a minute, left %v, in the end %s\n%s", most, leaves, rows(w.state), strings.Join(w.log, "\n"))
 	}
 	t.Logf("%d changes, %d in the busiest minute, leaves %v", w.changes, most, leaves)
@@ -189,7 +189,7 @@
 			words, members := w.words(), w.members()
 			b.ReportAllocs()
 			for b.Loop() {
-				w.watch.Step(w.now, w.state, words, members)
+				w.watch.Evaluate(w.now, w.state, words, members)
 			}
 		})
 	}
--- a/internal/fleet/zonestatus/state.go
+++ b/internal/fleet/zonestatus/state.go
@@ -9,29 +9,29 @@
 )
 
 // String names the posture as people read it.
-func (p Posture) String() string {
-	if p < Open || p > Held {
+func (p Status) String() string {
+	if p < Active || p > HeldBack {
 		return fmt.Sprintf("posture %d", int(p))
 	}
 	return [...]string{"open", "suspect", "leaving", "left", "returning", "held"}[p]
 }
 
 // gone tells whether nothing new is sent.
-func (p Posture) gone() bool { return p == Leaving || p == Left || p == Held }
+func (p Status) gone() bool { return p == Evacuating || p == Evacuated || p == HeldBack }
 
 // most of an Over, of the times that a zone is counted as failed, and of a rate.
 const mostOver, mostFails, mostRate = 0.95, 1 << 20, 1e6
 
-func order(a, b Seen) int {
+func order(a, b PairStatus) int {
 	return cmp.Or(strings.Compare(a.From, b.From), strings.Compare(a.To, b.To))
 }
 
 // seen returns the posture of a zone from another: Open with share 1 if it is not named.
-func (s State) seen(from, to string) Seen {
-	low, high := 0, len(s.Seen)
+func (s State) seen(from, to string) PairStatus {
+	low, high := 0, len(s.Pairs)
 	for low < high {
 		mid := (low + high) / 2
-		r := &s.Seen[mid]
+		r := &s.Pairs[mid]
 		switch c := cmp.Or(strings.Compare(r.From, from), strings.Compare(r.To, to)); {
 		case c == 0:
 			return *r
@@ -41,20 +41,20 @@
 			high = mid
 		}
 	}
-	return Seen{From: from, To: to, Share: 1}
+	return PairStatus{From: from, To: to, Share: 1}
 }
 
 // Apply returns the state after a change, or why it is not taken: its base, a name, a
 // posture that can't follow the last one, or more zones left than the panic rule allows.
 func (s State) Apply(cfg Config, c Change) (State, error) {
 	cfg = cfg.full()
-	if c.Base != s.Version {
-		return s, fmt.Errorf("zones: decided on version %d, it is %d", c.Base, s.Version)
+	if c.BaseVersion != s.Version {
+		return s, fmt.Errorf("zones: decided on version %d, it is %d", c.BaseVersion, s.Version)
 	}
-	if !(c.Over >= 0 && c.Over <= mostOver) {
-		return s, fmt.Errorf("zones: over %v is outside 0 to %v", c.Over, mostOver)
+	if !(c.Shed >= 0 && c.Shed <= mostOver) {
+		return s, fmt.Errorf("zones: over %v is outside 0 to %v", c.Shed, mostOver)
 	}
-	if len(c.Set) == 0 && c.Over == s.Over {
+	if len(c.Set) == 0 && c.Shed == s.Shed {
 		return s, errors.New("zones: changes nothing")
 	}
 	if err := listed(cfg, c.Zones); err != nil {
@@ -68,8 +68,8 @@
 			return s, fmt.Errorf("zones: %.64s to %.64s: %w", n.From, n.To, err)
 		}
 	}
-	next := State{Version: s.Version + 1, Seen: merged(s.Seen, c.Set), Zones: slices.Clone(c.Zones), Over: c.Over}
-	for _, r := range next.Seen {
+	next := State{Version: s.Version + 1, Pairs: merged(s.Pairs, c.Set), Zones: slices.Clone(c.Zones), Shed: c.Shed}
+	for _, r := range next.Pairs {
 		for _, z := range []string{r.From, r.To} {
 			if _, ok := slices.BinarySearch(next.Zones, z); !ok {
 				return s, fmt.Errorf("zones: %.64q is not among the change's zones", z)
@@ -100,10 +100,10 @@
 
 // merged returns the rows with those of set in their place. What is as if it were not
 // named is dropped.
-func merged(rows, set []Seen) []Seen {
-	var out []Seen
-	add := func(r Seen) {
-		if r.Posture != Open || r.Share != 1 || r.Fails != 0 {
+func merged(rows, set []PairStatus) []PairStatus {
+	var out []PairStatus
+	add := func(r PairStatus) {
+		if r.Status != Active || r.Share != 1 || r.Failures != 0 {
 			out = append(out, r)
 		}
 	}
@@ -126,10 +126,10 @@
 // carries is the panic rule as far as the state alone can tell: no viewpoint that the
 // change touches leaves more than its part of the zones, and none leaves all. A zone that
 // is being returned to bears little yet, and counts as left.
-func (s State) carries(cfg Config, set []Seen) error {
+func (s State) carries(cfg Config, set []PairStatus) error {
 	most := cfg.most(len(s.Zones))
 	for i, n := range set {
-		if !n.Posture.gone() || i > 0 && set[i-1].From == n.From && set[i-1].Posture.gone() {
+		if !n.Status.gone() || i > 0 && set[i-1].From == n.From && set[i-1].Status.gone() {
 			continue
 		}
 		if left := s.left(n.From); left > most {
@@ -142,8 +142,8 @@
 
 // left counts the zones that one viewpoint has left and those it is returning to.
 func (s State) left(from string) (n int) {
-	for _, r := range s.Seen {
-		if r.From == from && (r.Posture.gone() || r.Posture == Returning) {
+	for _, r := range s.Pairs {
+		if r.From == from && (r.Status.gone() || r.Status == Recovering) {
 			n++
 		}
 	}
@@ -152,14 +152,14 @@
 
 // Bounds returns what a node of one zone may send others, by name: a zone that is not
 // named has no bound. Over, which is no zone's, is to be read from the state.
-func (s State) Bounds(from string) (all []Bound) {
-	for _, r := range s.Seen {
+func (s State) TrafficLimits(from string) (all []TrafficLimit) {
+	for _, r := range s.Pairs {
 		switch {
 		case r.From != from:
-		case r.Posture.gone():
-			all = append(all, Bound{Zone: r.To})
-		case r.Share < 1 || r.Posture == Returning:
-			all = append(all, Bound{Zone: r.To, Share: r.Share, Rate: r.Rate})
+		case r.Status.gone():
+			all = append(all, TrafficLimit{Zone: r.To})
+		case r.Share < 1 || r.Status == Recovering:
+			all = append(all, TrafficLimit{Zone: r.To, Share: r.Share, Rate: r.Rate})
 		}
 	}
 	return all
--- a/internal/fleet/zonestatus/state_test.go
+++ b/internal/fleet/zonestatus/state_test.go
@@ -13,55 +13,57 @@
 func TestApply(t *testing.T) {
 	cfg := Config{Zones: []string{"a", "b", "c", "d"}}
 	zones := cfg.Zones
-	base := State{Version: 7, Zones: zones, Seen: []Seen{
-		{From: "a", To: "b", Posture: Held, Since: 1000, Until: 9000, Fails: 2},
-		{From: "a", To: "c", Posture: Returning, Step: 2, Share: 0.15, Rate: 9, Since: 1000, Fails: 1},
+	base := State{Version: 7, Zones: zones, Pairs: []PairStatus{
+		{From: "a", To: "b", Status: HeldBack, ChangedAt: 1000, HeldUntil: 9000, Failures: 2},
+		{From: "a", To: "c", Status: Recovering, Step: 2, Share: 0.15, Rate: 9, ChangedAt: 1000, Failures: 1},
 	}}
-	leave := func(from, to string) Seen { return Seen{From: from, To: to, Posture: Leaving, Fails: 1, Since: 2000} }
+	leave := func(from, to string) PairStatus {
+		return PairStatus{From: from, To: to, Status: Evacuating, Failures: 1, ChangedAt: 2000}
+	}
 	for _, tt := range []struct {
 		name, err string
-		set       []Seen
+		set       []PairStatus
 		change    func(c *Change)
 	}{
-		{"one more is left elsewhere", "", []Seen{leave("b", "c"), leave("c", "c")}, nil},
-		{"up a step", "", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.35, Rate: 9, Since: 3000, Fails: 1}}, nil},
-		{"the hold is over", "", []Seen{{From: "a", To: "b", Posture: Returning, Step: 1, Share: 0.05, Rate: 9, Since: 9000, Fails: 2}}, nil},
-		{"another base", "decided on version 6", []Seen{leave("b", "c")}, func(c *Change) { c.Base = 6 }},
+		{"one more is left elsewhere", "", []PairStatus{leave("b", "c"), leave("c", "c")}, nil},
+		{"up a step", "", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 3, Share: 0.35, Rate: 9, ChangedAt: 3000, Failures: 1}}, nil},
+		{"the hold is over", "", []PairStatus{{From: "a", To: "b", Status: Recovering, Step: 1, Share: 0.05, Rate: 9, ChangedAt: 9000, Failures: 2}}, nil},
+		{"another base", "decided on version 6", []PairStatus{leave("b", "c")}, func(c *Change) { c.BaseVersion = 6 }},
 		{"nothing", "changes nothing", nil, nil},
-		{"the third of four", "left 3 of 4 zones, at most 2", []Seen{leave("a", "d")}, nil},
-		{"three at once", "left 3 of 4 zones", []Seen{leave("b", "a"), leave("b", "c"), leave("b", "d")}, nil},
-		{"two steps up", "step 4 can't follow step 2", []Seen{{From: "a", To: "c", Posture: Returning, Step: 4, Share: 0.7, Rate: 9, Fails: 1}}, nil},
-		{"all at once", "one step after step 2", []Seen{{From: "a", To: "c", Share: 1, Fails: 1}}, nil},
-		{"open from held", "open can't follow held", []Seen{{From: "a", To: "b", Share: 1}}, nil},
-		{"before the hold is over", "held until 9000", []Seen{{From: "a", To: "b", Posture: Returning, Step: 1, Share: 0.05, Rate: 9, Since: 8999, Fails: 2}}, nil},
-		{"more than the step's share", "more than step 3 allows", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.5, Rate: 9, Fails: 1}}, nil},
-		{"no rate", "rate 0", []Seen{{From: "a", To: "c", Posture: Returning, Step: 3, Share: 0.3, Fails: 1}}, nil},
-		{"no number", "share NaN", []Seen{{From: "b", To: "c", Share: math.NaN()}}, nil},
-		{"open with nothing", "share 0, but it is open", []Seen{{From: "b", To: "c"}}, nil},
-		{"left and yet sent to", "share 1, but it is leaving", []Seen{{From: "b", To: "c", Posture: Leaving, Share: 1, Fails: 1}}, nil},
-		{"unknown posture", "posture 9 is not known", []Seen{{From: "b", To: "c", Posture: 9}}, nil},
-		{"out of order", "out of order", []Seen{leave("c", "c"), leave("b", "c")}, nil},
-		{"a stranger", "not among the change's zones", []Seen{leave("b", "e")}, nil},
-		{"strangers to make it look few", "none of fleet.zones.zones", []Seen{leave("b", "c")}, func(c *Change) { c.Zones = append(zones[:4:4], "e") }},
-		{"a zone that is named is not listed", "not among", []Seen{leave("b", "d")}, func(c *Change) { c.Zones = []string{"b", "c", "d"} }},
-		{"no share at all", "over 1 is outside", []Seen{leave("b", "c")}, func(c *Change) { c.Over = 1 }},
+		{"the third of four", "left 3 of 4 zones, at most 2", []PairStatus{leave("a", "d")}, nil},
+		{"three at once", "left 3 of 4 zones", []PairStatus{leave("b", "a"), leave("b", "c"), leave("b", "d")}, nil},
+		{"two steps up", "step 4 can't follow step 2", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 4, Share: 0.7, Rate: 9, Failures: 1}}, nil},
+		{"all at once", "one step after step 2", []PairStatus{{From: "a", To: "c", Share: 1, Failures: 1}}, nil},
+		{"open from held", "open can't follow held", []PairStatus{{From: "a", To: "b", Share: 1}}, nil},
+		{"before the hold is over", "held until 9000", []PairStatus{{From: "a", To: "b", Status: Recovering, Step: 1, Share: 0.05, Rate: 9, ChangedAt: 8999, Failures: 2}}, nil},
+		{"more than the step's share", "more than step 3 allows", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 3, Share: 0.5, Rate: 9, Failures: 1}}, nil},
+		{"no rate", "rate 0", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 3, Share: 0.3, Failures: 1}}, nil},
+		{"no number", "share NaN", []PairStatus{{From: "b", To: "c", Share: math.NaN()}}, nil},
+		{"open with nothing", "share 0, but it is open", []PairStatus{{From: "b", To: "c"}}, nil},
+		{"left and yet sent to", "share 1, but it is leaving", []PairStatus{{From: "b", To: "c", Status: Evacuating, Share: 1, Failures: 1}}, nil},
+		{"unknown posture", "posture 9 is not known", []PairStatus{{From: "b", To: "c", Status: 9}}, nil},
+		{"out of order", "out of order", []PairStatus{leave("c", "c"), leave("b", "c")}, nil},
+		{"a stranger", "not among the change's zones", []PairStatus{leave("b", "e")}, nil},
+		{"strangers to make it look few", "none of fleet.zones.zones", []PairStatus{leave("b", "c")}, func(c *Change) { c.Zones = append(zones[:4:4], "e") }},
+		{"a zone that is named is not listed", "not among", []PairStatus{leave("b", "d")}, func(c *Change) { c.Zones = []string{"b", "c", "d"} }},
+		{"no share at all", "over 1 is outside", []PairStatus{leave("b", "c")}, func(c *Change) { c.Shed = 1 }},
 	} {
-		c := Change{Base: 7, Zones: zones, Set: tt.set}
+		c := Change{BaseVersion: 7, Zones: zones, Set: tt.set}
 		if tt.change != nil {
 			tt.change(&c)
 		}
-		before := base.Bounds("a")
+		before := base.TrafficLimits("a")
 		next, err := base.Apply(cfg, c)
 		switch {
 		case tt.err == "" && (err != nil || next.Version != 8):
 			t.Errorf("%s: version %d, %v", tt.name, next.Version, err)
 		case tt.err != "" && (err == nil || !strings.Contains(err.Error(), tt.err) || next.Version != 7):
 			t.Errorf("%s: %v, version %d", tt.name, err, next.Version)
-		case !reflect.DeepEqual(before, base.Bounds("a")):
+		case !reflect.DeepEqual(before, base.TrafficLimits("a")):
 			t.Errorf("%s: the state before was changed", tt.name)
 		}
 	}
-	if got := base.Bounds("a"); !reflect.DeepEqual(got, []Bound{{Zone: "b"}, {Zone: "c", Share: 0.15, Rate: 9}}) {
+	if got := base.TrafficLimits("a"); !reflect.DeepEqual(got, []TrafficLimit{{Zone: "b"}, {Zone: "c", Share: 0.15, Rate: 9}}) {
 		t.Errorf("bounds %+v", got)
 	}
 }
@@ -69,19 +71,19 @@
 func TestCheck(t *testing.T) {
 	for key, c := range map[string]Config{
 		"":                           {},
-		"fleet.zones.fresh":          {Fresh: time.Millisecond},
-		"fleet.zones.holdMost":       {Hold: time.Minute, HoldMost: time.Second},
-		"fleet.zones.quiet":          {Quiet: time.Second},
-		"fleet.zones.most":           {Most: 1},
-		"fleet.zones.steps":          {Steps: []float64{0.5, 0.2}},
+		"fleet.zones.fresh":          {ReportTTL: time.Millisecond},
+		"fleet.zones.holdMost":       {BaseHoldInterval: time.Minute, MaxHoldInterval: time.Second},
+		"fleet.zones.quiet":          {FailureResetInterval: time.Second},
+		"fleet.zones.most":           {MaxEvacuatedFraction: 1},
+		"fleet.zones.steps":          {RampSteps: []float64{0.5, 0.2}},
 		"fleet.zones.zones":          {Zones: []string{"a", "a"}},
 		"fleet.zones.regions.y":      {Regions: map[string][]string{"x": {"a"}, "y": {"a"}}},
 		"fleet.zones.regions.x":      {Regions: map[string][]string{"x": {"b"}}, Zones: []string{"a"}},
-		"fleet.zones.cold: NaN":      {Cold: math.NaN()},
-		"fleet.zones.bears: -1":      {Bears: -1},
+		"fleet.zones.cold: NaN":      {ColdCapacityFraction: math.NaN()},
+		"fleet.zones.bears: -1":      {EndpointSetupRate: -1},
 		"fleet.zones.regions.: a re": {Regions: map[string][]string{"": {"a"}}},
 	} {
-		if err := c.Check(); (key == "") != (err == nil) || err != nil && !strings.HasPrefix(err.Error(), key) {
+		if err := c.Validate(); (key == "") != (err == nil) || err != nil && !strings.HasPrefix(err.Error(), key) {
 			t.Errorf("%q: %v", key, err)
 		}
 	}
@@ -90,7 +92,7 @@
 // A member that hears nobody adds one zone to what the record says, never its own, and
 // nothing while it reaches hardly anybody; it comes back by steps, or when it hears.
 func TestAlone(t *testing.T) {
-	record := State{Version: 3, Zones: []string{"a", "b", "c", "d", "e"}, Seen: []Seen{{From: "a", To: "b", Posture: Left, Fails: 1}}}
+	record := State{Version: 3, Zones: []string{"a", "b", "c", "d", "e"}, Pairs: []PairStatus{{From: "a", To: "b", Status: Evacuated, Failures: 1}}}
 	for _, tt := range []struct {
 		name   string
 		guards Guards
@@ -102,18 +104,18 @@
 		{"two more: one", Guards{}, "cd", "bc"},
 		{"its own", Guards{}, "a", "b"},
 		{"hardly anybody", Guards{}, "bcde", "b"},
-		{"hardly anybody, believed", Guards{Accuse: true}, "bcde", "bc"},
+		{"hardly anybody, believed", Guards{ReporterConnectivity: true}, "bcde", "bc"},
 	} {
 		w := newWorld(t, 5, 1)
 		w.state = record
 		w.bad = func(_, to string, _ int) float64 { return one(strings.Contains(tt.lost, to)) }
-		alone := NewAlone(w.cfg)
-		alone.Ignore = tt.guards
+		alone := NewIsolatedController(w.cfg)
+		alone.DisabledGuards = tt.guards
 		left := func(d time.Duration, s State) (names string) {
-			var all []Bound
+			var all []TrafficLimit
 			for end := w.now + d; w.now < end; {
 				w.now += 100 * time.Millisecond
-				all = alone.Step(w.now, s, w.word(Member{Name: "a0", Zone: "a"}))
+				all = alone.Evaluate(w.now, s, w.word(Member{Name: "a0", Zone: "a"}))
 			}
 			for _, b := range all {
 				if b.Share == 0 {
--- a/internal/fleet/zonestatus/watch.go
+++ b/internal/fleet/zonestatus/watch.go
@@ -13,8 +13,8 @@
 // Watch is the decider of the member that leads the record. What it remembers are only the
 // times since when it has seen a thing: a new leader's goes on from the record's state.
 // It is not safe for concurrent use.
-type Watch struct {
-	Ignore Guards
+type Controller struct {
+	DisabledGuards Guards
 
 	cfg    Config
 	marks  map[mark]span
@@ -33,17 +33,19 @@
 type span struct{ since, last time.Duration }
 
 // NewWatch returns a decider that has seen nothing yet.
-func NewWatch(cfg Config) *Watch { return &Watch{cfg: cfg.full(), marks: map[mark]span{}} }
+func NewController(cfg Config) *Controller {
+	return &Controller{cfg: cfg.full(), marks: map[mark]span{}}
+}
 
 // held tells for how long a thing has been so; negative if it is not.
-func (w *Watch) held(now time.Duration, from, to string, what byte, is bool) time.Duration {
+func (w *Controller) held(now time.Duration, from, to string, what byte, is bool) time.Duration {
 	k := mark{from, to, what}
 	if !is {
 		delete(w.marks, k)
 		return -1
 	}
 	m, ok := w.marks[k]
-	if !ok || now-m.last > w.cfg.Fresh {
+	if !ok || now-m.last > w.cfg.ReportTTL {
 		m.since = now
 	}
 	m.last = now
@@ -53,35 +55,35 @@
 
 // Step decides the next change, if there is one, and why. now is Unix time. words are all
 // that gossip has brought, of any age.
-func (w *Watch) Step(now time.Duration, s State, words []Word, members []Member) (c Change, why string, ok bool) {
-	v := see(w.cfg, w.Ignore, now, s, words, members)
+func (w *Controller) Evaluate(now time.Duration, s State, words []Report, members []Member) (c Change, why string, ok bool) {
+	v := see(w.cfg, w.DisabledGuards, now, s, words, members)
 	if w.overAt == 0 {
 		w.overAt = now
 	}
-	d := &draft{now: now, base: s, over: s.Over, set: map[[2]string]Seen{}}
-	for _, r := range s.Seen {
-		d.latest = max(d.latest, r.Since)
+	d := &draft{now: now, base: s, over: s.Shed, set: map[[2]string]PairStatus{}}
+	for _, r := range s.Pairs {
+		d.latest = max(d.latest, r.ChangedAt)
 	}
 	w.leave(v, d)
 	w.settle(d)
 	w.carry(v, d)
 	// All that can wait goes together, so that the record has few changes.
 	d.slow = true
-	d.may = d.age(d.latest) >= w.cfg.Steady || w.Ignore.Return
+	d.may = d.age(d.latest) >= w.cfg.StableInterval || w.DisabledGuards.RecoveryRamp
 	w.back(v, d)
 	w.climb(v, d)
 	w.part(v, d)
 	w.quiet(d)
 	w.ease(v, d)
 	maps.DeleteFunc(w.marks, func(_ mark, m span) bool { return m.last < now })
-	if len(d.set) == 0 && d.over == s.Over || len(v.zones) == 0 || w.sent == s.Version+1 && now-w.sentAt < again {
+	if len(d.set) == 0 && d.over == s.Shed || len(v.zones) == 0 || w.sent == s.Version+1 && now-w.sentAt < again {
 		return Change{}, "", false
 	}
 	w.sent, w.sentAt = s.Version+1, now
-	if d.over != s.Over {
+	if d.over != s.Shed {
 		w.overAt = now
 	}
-	return Change{Base: s.Version, Set: d.rows(), Zones: v.zones, Over: d.over}, strings.Join(d.why, "; "), true
+	return Change{BaseVersion: s.Version, Set: d.rows(), Zones: v.zones, Shed: d.over}, strings.Join(d.why, "; "), true
 }
 
 // draft is a change that is being made.
@@ -90,7 +92,7 @@
 	base      State
 	latest    int64 // when the record's last row was set
 	slow, may bool
-	set       map[[2]string]Seen
+	set       map[[2]string]PairStatus
 	over      float64
 	why       []string
 }
@@ -101,7 +103,7 @@
 }
 
 // seen returns a row as it will be.
-func (d *draft) seen(from, to string) Seen {
+func (d *draft) seen(from, to string) PairStatus {
 	if r, ok := d.set[[2]string{from, to}]; ok {
 		return r
 	}
@@ -109,11 +111,11 @@
 }
 
 // put sets a row. What can wait is dropped while it has to.
-func (d *draft) put(r Seen) bool {
+func (d *draft) put(r PairStatus) bool {
 	if d.slow && !d.may {
 		return false
 	}
-	r.Since = d.now.Milliseconds()
+	r.ChangedAt = d.now.Milliseconds()
 	d.set[[2]string{r.From, r.To}] = r
 	return true
 }
@@ -125,23 +127,23 @@
 	}
 }
 
-func (d *draft) rows() []Seen {
+func (d *draft) rows() []PairStatus {
 	return slices.SortedFunc(maps.Values(d.set), order)
 }
 
 // after returns all rows as they will be.
-func (d *draft) after() []Seen { return merged(d.base.Seen, d.rows()) }
+func (d *draft) after() []PairStatus { return merged(d.base.Pairs, d.rows()) }
 
 // settle ends Leaving once all have heard: what has failed before is held.
-func (w *Watch) settle(d *draft) {
+func (w *Controller) settle(d *draft) {
 	var left []string
-	for _, r := range d.base.Seen {
-		if r.Posture != Leaving || d.age(r.Since) < w.cfg.Settle {
+	for _, r := range d.base.Pairs {
+		if r.Status != Evacuating || d.age(r.ChangedAt) < w.cfg.EvacuationTimeout {
 			continue
 		}
-		next := Seen{From: r.From, To: r.To, Posture: Left, Fails: r.Fails}
-		if hold := w.cfg.hold(r.Fails); hold > 0 {
-			next.Posture, next.Until = Held, (d.now + hold).Milliseconds()
+		next := PairStatus{From: r.From, To: r.To, Status: Evacuated, Failures: r.Failures}
+		if hold := w.cfg.hold(r.Failures); hold > 0 {
+			next.Status, next.HeldUntil = HeldBack, (d.now + hold).Milliseconds()
 		}
 		if d.put(next) {
 			left = append(left, r.From+" to "+r.To)
@@ -153,10 +155,10 @@
 }
 
 // quiet forgets failures, and that a zone was suspect.
-func (w *Watch) quiet(d *draft) {
-	for _, r := range d.base.Seen {
-		if r.Posture == Open && r.Share == 1 && d.age(r.Since) >= w.cfg.Quiet && d.seen(r.From, r.To) == r {
-			if d.put(Seen{From: r.From, To: r.To, Share: 1}) {
+func (w *Controller) quiet(d *draft) {
+	for _, r := range d.base.Pairs {
+		if r.Status == Active && r.Share == 1 && d.age(r.ChangedAt) >= w.cfg.FailureResetInterval && d.seen(r.From, r.To) == r {
+			if d.put(PairStatus{From: r.From, To: r.To, Share: 1}) {
 				d.say(r.To, "has been quiet", []string{r.From})
 			}
 		}
--- a/internal/fleet/zonestatus/watch_test.go
+++ b/internal/fleet/zonestatus/watch_test.go
@@ -56,22 +56,22 @@
 		{"old words", func(w *world) {
 			w.dead(1, "b")
 			words := w.words()
-			w.now += w.cfg.Fresh + w.cfg.Skew
+			w.now += w.cfg.ReportTTL + w.cfg.MaxClockSkew
 			w.mute = func(string) bool { return true }
-			w.watch.Step(w.now, w.state, words, w.members())
+			w.watch.Evaluate(w.now, w.state, words, w.members())
 		}, "", 0, 0},
 		{"region: most of it is lost", func(w *world) {
 			w.zones = []string{"a", "b", "c", "d", "e", "f"}
 			w.cfg.Regions = map[string][]string{"r": {"d", "e", "f"}}
-			w.watch = NewWatch(w.cfg)
+			w.watch = NewController(w.cfg)
 			w.bad = pairs("ad", "ae")
 		}, "a>d:left, a>e:left, a>f:left", 2, 0},
 	} {
 		w := newWorld(t, 3, 3)
 		tt.do(w)
 		w.run(3500 * time.Millisecond)
-		if got := rows(w.state); got != tt.want || w.changes != tt.changes || w.state.Over != tt.over {
-			t.Errorf("%s:\n got %s; %d changes, %.2f over\nwant %s; %d, %.2f\n%s", tt.name, got, w.changes, w.state.Over, tt.want, tt.changes, tt.over, strings.Join(w.log, "\n"))
+		if got := rows(w.state); got != tt.want || w.changes != tt.changes || w.state.Shed != tt.over {
+			t.Errorf("%s:\n got %s; %d changes, %.2f over\nwant %s; %d, %.2f\n%s", tt.name, got, w.changes, w.state.Shed, tt.want, tt.changes, tt.over, strings.Join(w.log, "\n"))
 		}
 	}
 }
@@ -95,9 +95,9 @@
 		for w.state.Version == 0 && w.now < begin+2*time.Second {
 			w.step(100 * time.Millisecond)
 		}
-		bound := w.cfg.Confirm + 100*time.Millisecond
+		bound := w.cfg.ConfirmInterval + 100*time.Millisecond
 		if turning {
-			bound = 2*w.cfg.Confirm + 100*time.Millisecond
+			bound = 2*w.cfg.ConfirmInterval + 100*time.Millisecond
 		}
 		if took := w.now - begin; took > bound {
 			t.Errorf("turning %v: decided after %v, want %v", turning, took, bound)
@@ -117,8 +117,8 @@
 		w.load = tt.load
 		w.dead(1, strings.Fields(tt.dead)...)
 		w.run(tt.long * time.Second)
-		if w.state.Over != tt.over {
-			t.Errorf("%d: %.2f over, want %.2f\n%s", i, w.state.Over, tt.over, strings.Join(w.log, "\n"))
+		if w.state.Shed != tt.over {
+			t.Errorf("%d: %.2f over, want %.2f\n%s", i, w.state.Shed, tt.over, strings.Join(w.log, "\n"))
 		}
 	}
 }
@@ -136,28 +136,28 @@
 	}
 	w.dead(0, "b")
 	w.cold = 4
-	var steps []Seen
+	var steps []PairStatus
 	for end := w.now + 20*time.Second; w.now < end && w.state.seen("c", "b").Step < 4; {
 		w.step(100 * time.Millisecond)
 		if w.now%(3*time.Second) < 100*time.Millisecond {
-			w.watch = NewWatch(w.cfg)
+			w.watch = NewController(w.cfg)
 		}
 		if r := w.state.seen("c", "b"); len(steps) == 0 || steps[len(steps)-1] != r {
 			steps = append(steps, r)
 		}
 	}
-	want := []Seen{{Posture: Left}, {Posture: Returning, Step: 1, Share: 0.05, Rate: 18}, {Posture: Returning, Step: 2, Share: 0.15, Rate: 26},
-		{Posture: Returning, Step: 3, Share: 0.35, Rate: 35},
-		{Posture: Returning, Step: 4, Share: 0.7, Rate: 40}}
+	want := []PairStatus{{Status: Evacuated}, {Status: Recovering, Step: 1, Share: 0.05, Rate: 18}, {Status: Recovering, Step: 2, Share: 0.15, Rate: 26},
+		{Status: Recovering, Step: 3, Share: 0.35, Rate: 35},
+		{Status: Recovering, Step: 4, Share: 0.7, Rate: 40}}
 	for i, r := range want {
 		if i >= len(steps) {
 			t.Fatalf("%d steps\n%s", len(steps), strings.Join(w.log, "\n"))
 		}
-		if g := steps[i]; g.Posture != r.Posture || g.Step != r.Step || g.Share != r.Share || g.Rate != r.Rate {
+		if g := steps[i]; g.Status != r.Status || g.Step != r.Step || g.Share != r.Share || g.Rate != r.Rate {
 			t.Errorf("step %d: %+v", i, g)
 		}
-		if i > 0 && steps[i].Since-steps[i-1].Since < 2000 {
-			t.Errorf("step %d after %d ms", i, steps[i].Since-steps[i-1].Since)
+		if i > 0 && steps[i].ChangedAt-steps[i-1].ChangedAt < 2000 {
+			t.Errorf("step %d after %d ms", i, steps[i].ChangedAt-steps[i-1].ChangedAt)
 		}
 	}
 	w.dead(0.75, "b") // the part that is left can't hold the step
@@ -171,9 +171,9 @@
 	if got := rows(w.state); got != "" {
 		t.Errorf("in the end: %s\n%s", got, strings.Join(w.log, "\n"))
 	}
-	w.run(w.cfg.Quiet)
-	if len(w.state.Seen) != 0 {
-		t.Errorf("not forgotten: %+v", w.state.Seen)
+	w.run(w.cfg.FailureResetInterval)
+	if len(w.state.Pairs) != 0 {
+		t.Errorf("not forgotten: %+v", w.state.Pairs)
 	}
 }
 
@@ -182,12 +182,12 @@
 func TestFlapping(t *testing.T) {
 	leaves := func(g Guards) (n int, w *world) {
 		w = newWorld(t, 3, 2)
-		w.watch.Ignore = g
+		w.watch.DisabledGuards = g
 		gone := false
 		for w.now < epoch+5*time.Minute {
 			w.dead(float64((w.now-epoch)/(5*time.Second)%2), "b")
 			w.step(100 * time.Millisecond)
-			is := w.state.seen("a", "b").Posture.gone()
+			is := w.state.seen("a", "b").Status.gone()
 			if is && !gone {
 				n++
 			}
@@ -196,10 +196,10 @@
 		return n, w
 	}
 	n, w := leaves(Guards{})
-	if p := w.state.seen("a", "b").Posture; n > 7 || p != Held { // 5 + 10 + ... + 160 s
+	if p := w.state.seen("a", "b").Status; n > 7 || p != HeldBack { // 5 + 10 + ... + 160 s
 		t.Errorf("left %d times, then %v\n%s", n, p, strings.Join(w.log, "\n"))
 	}
-	if loose, _ := leaves(Guards{Hold: true}); loose < 3*n {
+	if loose, _ := leaves(Guards{HoldDown: true}); loose < 3*n {
 		t.Errorf("left %d times without a hold, %d with", loose, n)
 	}
 }
--- a/internal/fleet/zonestatus/world_test.go
+++ b/internal/fleet/zonestatus/world_test.go
@@ -15,7 +15,7 @@
 type world struct {
 	t       testing.TB
 	cfg     Config
-	watch   *Watch
+	watch   *Controller
 	state   State
 	now     time.Duration
 	zones   []string
@@ -32,12 +32,12 @@
 }
 
 func newWorld(t testing.TB, zones, per int) *world {
-	w := &world{t: t, cfg: Default(), now: epoch, per: per, servers: 4, load: 0.3,
+	w := &world{t: t, cfg: DefaultConfig(), now: epoch, per: per, servers: 4, load: 0.3,
 		bad: func(string, string, int) float64 { return 0 }, mute: func(string) bool { return false }}
 	for i := range zones {
 		w.zones = append(w.zones, string(rune('a'+i)))
 	}
-	w.watch = NewWatch(w.cfg)
+	w.watch = NewController(w.cfg)
 	return w
 }
 
@@ -54,7 +54,7 @@
 	return slices.Clone(all)
 }
 
-func (w *world) words() (all []Word) {
+func (w *world) words() (all []Report) {
 	for _, m := range w.members() {
 		if !w.mute(m.Name) {
 			all = append(all, w.word(m))
@@ -63,28 +63,28 @@
 	return all
 }
 
-func (w *world) word(m Member) Word {
-	word := Word{Member: m.Name, From: m.Zone, At: w.now - 100*time.Millisecond}
+func (w *world) word(m Member) Report {
+	word := Report{Member: m.Name, Zone: m.Zone, ReportedAt: w.now - 100*time.Millisecond}
 	for _, to := range w.zones {
 		share := w.bad(m.Zone, to, int(m.Name[len(m.Name)-1]-'0'))
-		s := Sight{To: to, Servers: w.servers, Bad: int(share * float64(w.servers)), Asked: 10, Failed: 10 * share, Load: w.load, Cold: w.cold}
-		if w.state.seen(m.Zone, to).Posture.gone() && share < 1 {
-			s.Asked = 0 // answered probes leave no trace
+		s := Observation{Zone: to, Endpoints: w.servers, Failing: int(share * float64(w.servers)), Attempts: 10, FailedAttempts: 10 * share, Load: w.load, WarmingUp: w.cold}
+		if w.state.seen(m.Zone, to).Status.gone() && share < 1 {
+			s.Attempts = 0 // answered probes leave no trace
 		}
-		word.Sights = append(word.Sights, s)
+		word.Observations = append(word.Observations, s)
 	}
 	return word
 }
 
 func (w *world) step(dt time.Duration) {
 	w.now += dt
-	c, why, ok := w.watch.Step(w.now, w.state, w.words(), w.members())
+	c, why, ok := w.watch.Evaluate(w.now, w.state, w.words(), w.members())
 	if !ok {
 		return
 	}
 	next, err := w.state.Apply(w.cfg, c)
 	if err != nil {
-		if w.refused++; w.watch.Ignore == (Guards{}) {
+		if w.refused++; w.watch.DisabledGuards == (Guards{}) {
 			w.t.Fatalf("%.1f s: %s: %v", (w.now - epoch).Seconds(), why, err)
 		}
 		return
@@ -108,12 +108,12 @@
 // rows writes the state as from>to:posture, with shares that are not whole.
 func rows(s State) string {
 	var all []string
-	for _, r := range s.Seen {
-		word := fmt.Sprintf("%s>%s:%v", r.From, r.To, r.Posture)
-		if !r.Posture.gone() && r.Share < 1 {
+	for _, r := range s.Pairs {
+		word := fmt.Sprintf("%s>%s:%v", r.From, r.To, r.Status)
+		if !r.Status.gone() && r.Share < 1 {
 			word += fmt.Sprintf(" %.2f", r.Share)
 		}
-		if r.Posture != Open || r.Share < 1 {
+		if r.Status != Active || r.Share < 1 {
 			all = append(all, word)
 		}
 	}
--- a/internal/operatorconfig/zones.go
+++ b/internal/operatorconfig/zones.go
@@ -36,26 +36,26 @@
 }
 
 func defaultZones() Zones {
-	d := zonestatus.Default()
+	d := zonestatus.DefaultConfig()
 	in := func(t time.Duration) Duration { return Duration{t} }
-	return Zones{Regions: map[string][]string{}, Zones: []string{}, Fresh: in(d.Fresh), Skew: in(d.Skew), Confirm: in(d.Confirm),
-		Settle: in(d.Settle), Steady: in(d.Steady), Gap: in(d.Gap), Hold: in(d.Hold), HoldMost: in(d.HoldMost), Quiet: in(d.Quiet),
-		Ramp: in(d.Ramp), Enough: d.Enough, Lost: d.Lost, Most: d.Most, High: d.High, Cold: d.Cold, Multiple: d.Multiple,
-		Bears: d.Bears, Store: d.Store, Steps: d.Steps}
+	return Zones{Regions: map[string][]string{}, Zones: []string{}, Fresh: in(d.ReportTTL), Skew: in(d.MaxClockSkew), Confirm: in(d.ConfirmInterval),
+		Settle: in(d.EvacuationTimeout), Steady: in(d.StableInterval), Gap: in(d.MinChangeInterval), Hold: in(d.BaseHoldInterval), HoldMost: in(d.MaxHoldInterval), Quiet: in(d.FailureResetInterval),
+		Ramp: in(d.SlowStartInterval), Enough: d.MinAttempts, Lost: d.UnavailableThreshold, Most: d.MaxEvacuatedFraction, High: d.MaxUtilization, Cold: d.ColdCapacityFraction, Multiple: d.ColdOverloadFactor,
+		Bears: d.EndpointSetupRate, Store: d.StoreSetupRate, Steps: d.RampSteps}
 }
 
 // Config is what package zone takes.
 func (z *Zones) Config() zonestatus.Config {
-	return zonestatus.Config{Regions: z.Regions, Zones: z.Zones, Fresh: z.Fresh.Duration, Skew: z.Skew.Duration, Confirm: z.Confirm.Duration,
-		Settle: z.Settle.Duration, Steady: z.Steady.Duration, Gap: z.Gap.Duration, Hold: z.Hold.Duration, HoldMost: z.HoldMost.Duration,
-		Quiet: z.Quiet.Duration, Ramp: z.Ramp.Duration, Enough: z.Enough, Lost: z.Lost, Most: z.Most, High: z.High, Cold: z.Cold,
-		Multiple: z.Multiple, Bears: z.Bears, Store: z.Store, Steps: z.Steps}
+	return zonestatus.Config{Regions: z.Regions, Zones: z.Zones, ReportTTL: z.Fresh.Duration, MaxClockSkew: z.Skew.Duration, ConfirmInterval: z.Confirm.Duration,
+		EvacuationTimeout: z.Settle.Duration, StableInterval: z.Steady.Duration, MinChangeInterval: z.Gap.Duration, BaseHoldInterval: z.Hold.Duration, MaxHoldInterval: z.HoldMost.Duration,
+		FailureResetInterval: z.Quiet.Duration, SlowStartInterval: z.Ramp.Duration, MinAttempts: z.Enough, UnavailableThreshold: z.Lost, MaxEvacuatedFraction: z.Most, MaxUtilization: z.High, ColdCapacityFraction: z.Cold,
+		ColdOverloadFactor: z.Multiple, EndpointSetupRate: z.Bears, StoreSetupRate: z.Store, RampSteps: z.Steps}
 }
 
 // check leaves the figures' bounds to package zone.
 func (z *Zones) check(c *checks, l *Fleet) {
 	c.fault(z.Enabled && !l.ReplicatedLog.IsEnabled(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
-	if err := z.Config().Check(); err != nil {
+	if err := z.Config().Validate(); err != nil {
 		c.faults = append(c.faults, err)
 	}
 	named := func(key string, zones []string) {
--- a/internal/scenario/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -183,5 +183,5 @@
 
 // gone tells whether a posture sends nothing.
 func gone(posture string) bool {
-	return slices.Contains([]string{zonestatus.Leaving.String(), zonestatus.Left.String(), zonestatus.Held.String()}, posture)
+	return slices.Contains([]string{zonestatus.Evacuating.String(), zonestatus.Evacuated.String(), zonestatus.HeldBack.String()}, posture)
 }
