--- a/internal/admin/mgmt.go
+++ b/internal/admin/mgmt.go
@@ -107,10 +107,10 @@
 
 func (s *Server) serve(conn net.Conn) {
 	l := bufconn.New(conn)
-	text, err := l.NextText()
+	text, err := l.ReadTextLine()
 	s.spoken(conn)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		text, err = l.ReadText(time.Now().Add(glance))
+		text, err = l.ReadTextLineBefore(time.Now().Add(glance))
 	}
 	answer := ""
 	if err != nil {
@@ -120,10 +120,10 @@
 		answer = s.answer(string(text), conn)
 	}
 	if errors.Is(err, bufio.ErrBufferFull) || err == nil && l.R.Buffered() > 0 { // there may be more
-		l.Farewell(answer, time.Now().Add(writing), linger)
+		l.LingeringClose(answer, time.Now().Add(writing), linger)
 		return
 	}
-	_ = l.WriteText(answer, time.Now().Add(writing))
+	_ = l.WriteLine(answer, time.Now().Add(writing))
 	l.Release()
 }
 
--- a/internal/bufconn/leg.go
+++ b/internal/bufconn/leg.go
@@ -14,25 +14,25 @@
 )
 
 // Size is the longest line and the size of every buffer.
-const Size = 4096
+const BufferSize = 4096
 
 // leftover is what Drain reads at full speed, and slowly its pause between two
 // buffers beyond.
 const (
-	leftover = 16 * Size
-	slowly   = 25 * time.Millisecond
+	fastDiscardBytes = 16 * BufferSize
+	slowDiscardPause = 25 * time.Millisecond
 )
 
-var buffers = sync.Pool{New: func() any {
-	return bufio.NewReadWriter(bufio.NewReaderSize(nil, Size), bufio.NewWriterSize(nil, Size))
+var bufferPool = sync.Pool{New: func() any {
+	return bufio.NewReadWriter(bufio.NewReaderSize(nil, BufferSize), bufio.NewWriterSize(nil, BufferSize))
 }}
 
 // Past is a read deadline that wakes a reader at once.
-var Past = time.Unix(1, 0)
+var PastDeadline = time.Unix(1, 0)
 
 // Leg is one connection with its buffers. One goroutine at a time may read and
 // one may write; Close and SetReadDeadline may come from any.
-type Leg struct {
+type Conn struct {
 	net.Conn
 	textproto.Reader
 	textproto.Writer
@@ -40,16 +40,16 @@
 }
 
 // New returns a Leg on conn that holds buffers until Release.
-func New(conn net.Conn) *Leg {
-	b := buffers.Get().(*bufio.ReadWriter)
-	b.Reader.Reset(conn)
-	b.Writer.Reset(conn)
-	return &Leg{Conn: conn, Reader: textproto.Reader{R: b.Reader}, Writer: textproto.Writer{W: b.Writer}, pooled: b}
+func New(conn net.Conn) *Conn {
+	buffers := bufferPool.Get().(*bufio.ReadWriter)
+	buffers.Reader.Reset(conn)
+	buffers.Writer.Reset(conn)
+	return &Conn{Conn: conn, Reader: textproto.Reader{R: buffers.Reader}, Writer: textproto.Writer{W: buffers.Writer}, pooled: buffers}
 }
 
 // Resume returns a Leg on conn from which another process had read some bytes that it
 // did not use.
-func Resume(conn net.Conn, read []byte) *Leg {
+func NewWithUnread(conn net.Conn, read []byte) *Conn {
 	l := New(conn)
 	if len(read) > 0 {
 		l.pooled.Reader.Reset(io.MultiReader(bytes.NewReader(read), conn))
@@ -59,7 +59,7 @@
 
 // Unread returns what was read from the connection and not used, valid until the next
 // read.
-func (l *Leg) Unread() []byte {
+func (l *Conn) Unread() []byte {
 	b, _ := l.R.Peek(l.R.Buffered())
 	return b
 }
@@ -69,14 +69,14 @@
 // still on its way. It stands in for textproto's ReadLine, which takes a line cut
 // off by the end of the connection for a whole one and reads an endless one until
 // memory is out: here the first is io.EOF, the second bufio.ErrBufferFull.
-func (l *Leg) ReadRaw() ([]byte, error) {
+func (l *Conn) ReadRawLine() ([]byte, error) {
 	for {
-		line, whole := l.buffered()
+		line, complete := l.firstLine()
 		switch {
-		case whole:
+		case complete:
 			_, err := l.R.Discard(len(line))
 			return line, err
-		case len(line) == Size:
+		case len(line) == BufferSize:
 			return nil, bufio.ErrBufferFull
 		}
 		if _, err := l.R.Peek(len(line) + 1); err != nil {
@@ -86,7 +86,7 @@
 }
 
 // buffered returns what is buffered, up to the end of the first line.
-func (l *Leg) buffered() (line []byte, whole bool) {
+func (l *Conn) firstLine() (line []byte, complete bool) {
 	b := l.Unread()
 	if i := bytes.IndexByte(b, '\n'); i >= 0 {
 		return b[:i+1], true
@@ -95,27 +95,27 @@
 }
 
 // HasLine tells whether a whole line is buffered, so that reading it won't wait.
-func (l *Leg) HasLine() bool {
-	_, whole := l.buffered()
-	return whole
+func (l *Conn) HasLine() bool {
+	_, complete := l.firstLine()
+	return complete
 }
 
 // ReadText returns the next line without its end, read before the deadline.
-func (l *Leg) ReadText(deadline time.Time) ([]byte, error) {
+func (l *Conn) ReadTextLineBefore(deadline time.Time) ([]byte, error) {
 	if err := l.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	return l.NextText()
+	return l.ReadTextLine()
 }
 
 // NextText returns the next line without its end, by the read deadline as it is.
-func (l *Leg) NextText() ([]byte, error) {
-	line, err := l.ReadRaw()
+func (l *Conn) ReadTextLine() ([]byte, error) {
+	line, err := l.ReadRawLine()
 	return bytes.TrimRight(line, "\r\n"), err
 }
 
 // WriteText writes a line and its end before the deadline.
-func (l *Leg) WriteText(line string, deadline time.Time) error {
+func (l *Conn) WriteLine(line string, deadline time.Time) error {
 	if err := l.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
@@ -123,7 +123,7 @@
 }
 
 // Flush writes what is buffered before the deadline.
-func (l *Leg) Flush(deadline time.Time) error {
+func (l *Conn) Flush(deadline time.Time) error {
 	if err := l.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
@@ -131,10 +131,10 @@
 }
 
 // Wake ends a read that is waiting.
-func (l *Leg) Wake() { _ = l.SetReadDeadline(Past) }
+func (l *Conn) InterruptRead() { _ = l.SetReadDeadline(PastDeadline) }
 
 // Abort closes the connection with a reset, as its other side was.
-func (l *Leg) Abort() {
+func (l *Conn) Abort() {
 	if tcp, ok := l.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -143,20 +143,20 @@
 
 // FinishWrites ends the sending half, so that what was written arrives although
 // unread lines of the other side would turn a plain close into a reset.
-func (l *Leg) FinishWrites() {
-	if half, ok := l.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
+func (l *Conn) CloseWrite() {
+	if closer, ok := l.Conn.(interface{ CloseWrite() error }); ok {
+		_ = closer.CloseWrite()
 	}
 }
 
 // Farewell writes a last line before the deadline and ends the leg. Unread lines of
 // the other side, which may come for as long as it lingers, don't reset it before it
 // has read that. It tells whether the line was written.
-func (l *Leg) Farewell(line string, deadline time.Time, linger time.Duration) error {
-	err := l.WriteText(line, deadline)
-	l.FinishWrites()
+func (l *Conn) LingeringClose(line string, deadline time.Time, linger time.Duration) error {
+	err := l.WriteLine(line, deadline)
+	l.CloseWrite()
 	_ = l.SetReadDeadline(time.Now().Add(linger))
-	l.Drain()
+	l.DiscardInput()
 	l.Release()
 	return err
 }
@@ -165,27 +165,27 @@
 // so that unread lines don't turn the close into a reset, which might overtake the
 // last line written. Beyond leftover it reads slowly: who has 60 MB to send is
 // given the time to read that line, and costs no more than that.
-func (l *Leg) Drain() {
-	for dropped := 0; ; {
+func (l *Conn) DiscardInput() {
+	for discarded := 0; ; {
 		n, err := l.R.Discard(max(1, l.R.Buffered()))
 		if err != nil {
 			return
 		}
-		if dropped += n; dropped > leftover {
-			time.Sleep(slowly)
+		if discarded += n; discarded > fastDiscardBytes {
+			time.Sleep(slowDiscardPause)
 		}
 	}
 }
 
 // Release closes the connection and gives the buffers back. Nobody may read or
 // write any more.
-func (l *Leg) Release() {
+func (l *Conn) Release() {
 	_ = l.Close()
 	if l.pooled == nil {
 		return
 	}
 	l.pooled.Reader.Reset(nil)
 	l.pooled.Writer.Reset(nil)
-	buffers.Put(l.pooled)
+	bufferPool.Put(l.pooled)
 	l.pooled = nil
 }
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -134,7 +134,7 @@
 }
 
 // ask sends the request and returns the answer's body.
-func (c *call) ask(l *bufconn.Leg, deadline time.Time) (io.Reader, error) {
+func (c *call) ask(l *bufconn.Conn, deadline time.Time) (io.Reader, error) {
 	if err := l.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -35,7 +35,7 @@
 	defer s.letGo(v)
 	l := bufconn.New(v.conn)
 	for asked := 0; ; asked++ {
-		text, err := l.NextText()
+		text, err := l.ReadTextLine()
 		if err != nil {
 			s.unopened(v, l, err)
 			return
@@ -45,7 +45,7 @@
 			if !s.AcceptsClients() {
 				answer = s.busy()
 			}
-			if err := l.WriteText(answer, v.deadline); err != nil {
+			if err := l.WriteLine(answer, v.deadline); err != nil {
 				s.seeOff(v, l, s.busy())
 				return
 			}
@@ -62,7 +62,7 @@
 }
 
 // unopened ends a leg on which no first line came.
-func (s *Server) unopened(v *visitor, l *bufconn.Leg, err error) {
+func (s *Server) unopened(v *visitor, l *bufconn.Conn, err error) {
 	silent, late := l.R.Buffered() == 0, errors.Is(err, os.ErrDeadlineExceeded)
 	switch {
 	case late && (silent || time.Now().Before(v.deadline)): // or it has to go now, which is not its fault
@@ -75,7 +75,7 @@
 }
 
 // open runs a transaction to its end.
-func (s *Server) open(v *visitor, l *bufconn.Leg, o lineproto.ConnectRequest) {
+func (s *Server) open(v *visitor, l *bufconn.Conn, o lineproto.ConnectRequest) {
 	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, At: o.Endpoint,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Returned, Deadline: time.Now().Add(min(o.Patience, longestWait) - margin)},
 		&o, lineproto.Codec{}, s.decider, l)
@@ -109,18 +109,18 @@
 }
 
 // reject answers a first line that is none, and ends the leg.
-func (s *Server) reject(v *visitor, l *bufconn.Leg, err error) {
+func (s *Server) reject(v *visitor, l *bufconn.Conn, err error) {
 	s.bad.Warn("first line rejected", "from", l.RemoteAddr().String(), "err", err)
 	_ = s.seeOff(v, l, lineproto.Error)
 }
 
 // seeOff gives a last answer and ends the leg in good order: a request may come in the
 // very moment, and a close over it would be a reset, which takes the answer with it.
-func (s *Server) seeOff(v *visitor, l *bufconn.Leg, answer string) error {
+func (s *Server) seeOff(v *visitor, l *bufconn.Conn, answer string) error {
 	s.mu.Lock()
 	s.part(v)
 	s.mu.Unlock()
-	return l.Farewell(answer, time.Now().Add(writing), linger)
+	return l.LingeringClose(answer, time.Now().Add(writing), linger)
 }
 
 // busy words the busy answer to who is refused unseen.
--- a/internal/downstream/room.go
+++ b/internal/downstream/room.go
@@ -76,7 +76,7 @@
 		return left
 	}
 	s.parting.Remove(oldest)
-	_ = v.conn.SetReadDeadline(bufconn.Past) // what it still sends is not read any more
+	_ = v.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
 	return glance
 }
 
@@ -133,7 +133,7 @@
 	v.since = time.Now()
 	v.place = s.parting.PushBack(v)
 	s.partings++
-	_ = v.conn.SetReadDeadline(bufconn.Past)
+	_ = v.conn.SetReadDeadline(bufconn.PastDeadline)
 }
 
 // letGo forgets a visitor, or the leg that it has become; its connection is closed.
--- a/internal/hotrestart/giver_test.go
+++ b/internal/hotrestart/giver_test.go
@@ -35,8 +35,8 @@
 			hop, feed := pair(t)
 			_ = caller.(*net.TCPConn).SetNoDelay(false) // whatever it was set to
 			s := proxy.Standing{Request: proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
-				Deadline: time.Now()}, Server: "s1", FromCaller: []byte(strings.Repeat("\xff", bufconn.Size)),
-				FromHop: []byte(strings.Repeat("\x00", bufconn.Size)), Pending: time.Now()}
+				Deadline: time.Now()}, Server: "s1", FromCaller: []byte(strings.Repeat("\xff", bufconn.BufferSize)),
+				FromHop: []byte(strings.Repeat("\x00", bufconn.BufferSize)), Pending: time.Now()}
 			if !g.Take(s, caller, hop) {
 				t.Fatalf("connection %d was not taken", i)
 			}
--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -28,7 +28,7 @@
 	within = 500 * time.Millisecond
 	// largest bounds a message: what was read and not used, twice, in base64, and the
 	// request.
-	largest = 8 * bufconn.Size
+	largest = 8 * bufconn.BufferSize
 	// version stands before a name: processes that don't agree on what is said don't meet,
 	// and what stands is moved.
 	version = "handover2-"
--- a/internal/hotrestart/taker.go
+++ b/internal/hotrestart/taker.go
@@ -165,7 +165,7 @@
 	if err == nil {
 		err = json.Unmarshal(message, &s)
 	}
-	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > bufconn.Size {
+	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > bufconn.BufferSize {
 		err = errors.New("more was read than a buffer holds")
 	}
 	s.Hold = proxy.NewHold()
--- a/internal/hotrestart/taker_test.go
+++ b/internal/hotrestart/taker_test.go
@@ -41,7 +41,7 @@
 		"no sockets": {`{"ID":"a"}`, nil}, "one socket": {`{"ID":"a"}`, []int{a}}, "no message": {`{"ID":`, []int{a, b}},
 		"not sockets": {`{"ID":"a"}`, []int{int(file.Fd()), int(file.Fd())}}, "three": {`{"ID":"a"}`, []int{a, b, a}},
 		"no TCP":        {`{"ID":"a"}`, []int{a, udp}},
-		"too much read": {fmt.Sprintf(`{"FromHop":%q}`, strings.Repeat("QUFB", bufconn.Size/2)), []int{a, b}},
+		"too much read": {fmt.Sprintf(`{"FromHop":%q}`, strings.Repeat("QUFB", bufconn.BufferSize/2)), []int{a, b}},
 	} {
 		var rights []byte
 		if m.fds != nil {
--- a/internal/proxy/continuity.go
+++ b/internal/proxy/continuity.go
@@ -50,5 +50,5 @@
 
 // rescue moves a caller whose next hop broke off, if it can go on where it was.
 func (t *Transaction) rescue() bool {
-	return t.Continuity != nil && t.Ticket() != "" && t.caller.WriteText(t.moveLine(), time.Now().Add(stall)) == nil
+	return t.Continuity != nil && t.Ticket() != "" && t.caller.WriteLine(t.moveLine(), time.Now().Add(stall)) == nil
 }
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -18,7 +18,7 @@
 func TestEndlessLineMoves(t *testing.T) {
 	b := start(t)
 	b.up(t)
-	say(t, b.hop, "whole\r\n"+strings.Repeat("x", bufconn.Size+1))
+	say(t, b.hop, "whole\r\n"+strings.Repeat("x", bufconn.BufferSize+1))
 	b.expect(t, b.fromNode, "whole\r\n")
 	b.expect(t, b.fromNode, "MOVE\r\n")
 	if how := wait(t, b.ended); how != balance.Reset {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,10 +87,10 @@
 
 // answer is what the deciding side hands to the caller's side.
 type answer struct {
-	line string       // empty where another process has given it
-	hop  *bufconn.Leg // set if the line is a next hop's UP
-	from string       // and then: whose
-	busy bool         // else: it refuses rather than fails
+	line string        // empty where another process has given it
+	hop  *bufconn.Conn // set if the line is a next hop's UP
+	from string        // and then: whose
+	busy bool          // else: it refuses rather than fails
 }
 
 // Transaction is one request and the connection it becomes.
@@ -102,27 +102,27 @@
 
 	front  Front
 	watch  Watcher
-	caller *bufconn.Leg
+	caller *bufconn.Conn
 
 	ctx    context.Context // ends when the caller has left or is answered
 	cancel context.CancelFunc
 	final  chan answer // holds the one final answer
 
 	mu      sync.Mutex
-	settled bool         // a final answer was given, or the caller has left
-	gone    bool         // the caller has left
-	hop     *bufconn.Leg // after UP
-	server  string       // and whose it is
-	heir    Heir         // who is to go on with it; nil if nobody
-	offered bool         // it has been asked
-	moving  bool         // a MOVE is wanted
-	closing bool         // the caller leg is about to be closed
-	pending time.Time    // when the oldest unanswered line of the caller went on
-	looked  bool         // it was found missing, and is looked for once more
+	settled bool          // a final answer was given, or the caller has left
+	gone    bool          // the caller has left
+	hop     *bufconn.Conn // after UP
+	server  string        // and whose it is
+	heir    Heir          // who is to go on with it; nil if nobody
+	offered bool          // it has been asked
+	moving  bool          // a MOVE is wanted
+	closing bool          // the caller leg is about to be closed
+	pending time.Time     // when the oldest unanswered line of the caller went on
+	looked  bool          // it was found missing, and is looked for once more
 }
 
 // New returns a transaction for a request that came on the caller leg.
-func New(r Request, o Opening, f Front, w Watcher, caller *bufconn.Leg) *Transaction {
+func New(r Request, o Opening, f Front, w Watcher, caller *bufconn.Conn) *Transaction {
 	t := &Transaction{Request: r, Opening: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
@@ -147,7 +147,7 @@
 	t.final <- a
 	t.cancel()
 	if a.hop != nil {
-		t.caller.Wake() // its reader has lines to pass on from now
+		t.caller.InterruptRead() // its reader has lines to pass on from now
 	}
 	return true
 }
@@ -171,7 +171,7 @@
 // Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
-func (t *Transaction) Up(line, server string, hop *bufconn.Leg) bool {
+func (t *Transaction) Up(line, server string, hop *bufconn.Conn) bool {
 	return t.settle(answer{line: line, from: server, hop: hop})
 }
 
@@ -182,7 +182,7 @@
 	defer t.mu.Unlock()
 	if t.hop != nil && !t.offered {
 		t.moving = true
-		t.hop.Wake()
+		t.hop.InterruptRead()
 	}
 }
 
@@ -192,7 +192,7 @@
 	first := !t.settled
 	t.settled, t.gone = true, true
 	if t.hop != nil {
-		t.hop.Wake()
+		t.hop.InterruptRead()
 	}
 	t.mu.Unlock()
 	if first {
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -53,7 +53,7 @@
 type bench struct {
 	*watcher
 	t           *proxy.Transaction
-	hopLeg      *bufconn.Leg
+	hopLeg      *bufconn.Conn
 	caller, hop net.Conn // the far ends
 	fromNode    *bufio.Reader
 	fromCaller  *bufio.Reader
--- a/internal/proxy/heir.go
+++ b/internal/proxy/heir.go
@@ -41,7 +41,7 @@
 	defer t.mu.Unlock()
 	if t.hop != nil && !t.moving && !t.gone && !t.closing && t.heir == nil {
 		t.heir = to
-		t.caller.Wake() // which wakes the relay when it has stopped
+		t.caller.InterruptRead() // which wakes the relay when it has stopped
 	}
 }
 
@@ -53,7 +53,7 @@
 
 // pass hands over what both relays have stopped for. If it is not taken, its caller is to
 // be moved.
-func (t *Transaction) pass(hop *bufconn.Leg) End {
+func (t *Transaction) pass(hop *bufconn.Conn) End {
 	t.mu.Lock()
 	gone, moving, to := t.gone, t.moving, t.heir
 	t.offered = true
@@ -107,8 +107,8 @@
 
 // resume returns a Leg on conn from which another process had read some bytes that it did
 // not use. It is not read before the hold ends, if there is one.
-func (h *Hold) resume(conn net.Conn, read []byte) *bufconn.Leg {
-	l := bufconn.Resume(conn, read)
+func (h *Hold) resume(conn net.Conn, read []byte) *bufconn.Conn {
+	l := bufconn.NewWithUnread(conn, read)
 	if h != nil {
 		l.R.Reset(io.MultiReader(h, bytes.NewReader(read), conn))
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -29,9 +29,9 @@
 
 // forward passes the caller's lines on until either side ends. It tells whether
 // it was the caller.
-func (t *Transaction) forward(hop *bufconn.Leg) bool {
+func (t *Transaction) forward(hop *bufconn.Conn) bool {
 	for {
-		line, err := t.caller.ReadRaw()
+		line, err := t.caller.ReadRawLine()
 		if err != nil {
 			return !errors.Is(err, os.ErrDeadlineExceeded) || !t.yields()
 		}
@@ -51,7 +51,7 @@
 }
 
 // sent notes that a line of the caller's waits for the next hop's answer.
-func (t *Transaction) sent(hop *bufconn.Leg) {
+func (t *Transaction) sent(hop *bufconn.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
@@ -63,7 +63,7 @@
 }
 
 // heard notes that the next hop has answered.
-func (t *Transaction) heard(hop *bufconn.Leg) {
+func (t *Transaction) heard(hop *bufconn.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.pending.IsZero() && !t.moving && !t.gone && t.heir == nil {
@@ -77,7 +77,7 @@
 // stands between two.
 func (t *Transaction) relay(a answer) End {
 	if a.line != "" {
-		if err := t.caller.WriteText(a.line, time.Now().Add(stall)); err != nil {
+		if err := t.caller.WriteLine(a.line, time.Now().Add(stall)); err != nil {
 			return t.cut(a.hop, CallerLeft)
 		}
 		t.Figures.Fulfilled()
@@ -85,7 +85,7 @@
 	defer t.begin(a)()
 	how := Broken
 	for {
-		line, err := a.hop.ReadRaw()
+		line, err := a.hop.ReadRawLine()
 		if err != nil {
 			if t.lookAgain(a.hop, err) {
 				continue
@@ -118,7 +118,7 @@
 
 // lookAgain is asked when a read from the next hop has failed. It is true, once, if
 // that was because a line has waited for its answer too long.
-func (t *Transaction) lookAgain(hop *bufconn.Leg, err error) bool {
+func (t *Transaction) lookAgain(hop *bufconn.Conn, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked || t.heir != nil {
@@ -130,7 +130,7 @@
 }
 
 // finish ends both sides after the next hop's leg could not be read further.
-func (t *Transaction) finish(hop *bufconn.Leg, how End, err error) End {
+func (t *Transaction) finish(hop *bufconn.Conn, how End, err error) End {
 	t.mu.Lock()
 	moving, gone, yields := t.moving, t.gone, t.heir != nil
 	t.mu.Unlock()
@@ -146,7 +146,7 @@
 		return t.leaveHop(hop, Silent)
 	case t.rescue():
 		_ = hop.Close()
-		t.caller.FinishWrites()
+		t.caller.CloseWrite()
 		return Broken
 	case errors.Is(err, io.EOF):
 	default:
@@ -154,21 +154,21 @@
 		return t.cut(hop, Broken)
 	}
 	_ = hop.Close()
-	t.caller.FinishWrites()
+	t.caller.CloseWrite()
 	return how
 }
 
 // leaveHop moves the caller, and lets the next hop know that nothing more comes. Run reads
 // what that one has still on its way.
-func (t *Transaction) leaveHop(hop *bufconn.Leg, how End) End {
-	_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
-	t.caller.FinishWrites()
-	hop.FinishWrites()
+func (t *Transaction) leaveHop(hop *bufconn.Conn, how End) End {
+	_ = t.caller.WriteLine(t.moveLine(), time.Now().Add(stall))
+	t.caller.CloseWrite()
+	hop.CloseWrite()
 	return how
 }
 
 // cut ends the next hop's side at once.
-func (t *Transaction) cut(hop *bufconn.Leg, how End) End {
+func (t *Transaction) cut(hop *bufconn.Conn, how End) End {
 	_ = hop.Close()
 	return how
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -24,19 +24,19 @@
 		defer close(done)
 		t.readCaller()
 	}()
-	var hop *bufconn.Leg // after UP
+	var hop *bufconn.Conn // after UP
 	a, answered := <-t.final
 	switch {
 	case !answered: // the caller has left
 	case a.hop == nil:
-		if t.caller.WriteText(a.line, time.Now().Add(stall)) == nil {
+		if t.caller.WriteLine(a.line, time.Now().Add(stall)) == nil {
 			if a.busy {
 				t.Figures.Rejected()
 			} else {
 				t.Figures.Failed()
 			}
 		}
-		t.caller.FinishWrites()
+		t.caller.CloseWrite()
 	default:
 		hop = a.hop
 		how := t.relay(a)
@@ -44,8 +44,8 @@
 			<-done
 			if how = t.pass(a.hop); how == Moved {
 				done = t.drop() // beside the write, as its caller may be writing too
-				_ = t.caller.WriteText(t.moveLine(), time.Now().Add(stall))
-				t.caller.FinishWrites()
+				_ = t.caller.WriteLine(t.moveLine(), time.Now().Add(stall))
+				t.caller.CloseWrite()
 			}
 		} else if t.yields() {
 			_ = hop.Close() // the caller's reader has stopped, or does with this
@@ -68,7 +68,7 @@
 		// Closed already, unless its caller was moved: what it has on its way then, half a
 		// line perhaps, must not reset it under the caller's last line.
 		_ = hop.SetReadDeadline(time.Now().Add(hopLinger))
-		hop.Drain()
+		hop.DiscardInput()
 		hop.Release()
 	}
 	<-done
@@ -81,7 +81,7 @@
 	_ = t.caller.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		t.caller.Drain()
+		t.caller.DiscardInput()
 	}()
 	return done
 }
@@ -109,11 +109,11 @@
 	if t.yields() {
 		// What else it sends is the heir's. Only now may the relay stop: a next hop that
 		// is not read any more might not take the line that was on its way to it.
-		hop.Wake()
+		hop.InterruptRead()
 		return
 	}
 	// The next hop has ended: the relay sees it too and bounds this read.
-	t.caller.Drain()
+	t.caller.DiscardInput()
 }
 
 // errTooEarly is a caller's that sends more before UP than a buffer holds.
@@ -124,7 +124,7 @@
 // not hide that their caller leaves, so it looks for more behind them, until Up
 // wakes it.
 func (t *Transaction) await() error {
-	for t.caller.R.Buffered() < bufconn.Size {
+	for t.caller.R.Buffered() < bufconn.BufferSize {
 		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
 		if t.ctx.Err() != nil {
 			return nil
--- a/internal/proxy/stall_test.go
+++ b/internal/proxy/stall_test.go
@@ -17,12 +17,12 @@
 func TestSlowReader(t *testing.T) {
 	b := start(t)
 	b.up(t)
-	line := make([]byte, bufconn.Size)
+	line := make([]byte, bufconn.BufferSize)
 	for i := range line {
 		line[i] = byte(' ' + i%90)
 	}
 	copy(line[len(line)-2:], "\r\n")
-	const most = 64 << 20 / bufconn.Size // far more than the sockets' buffers hold
+	const most = 64 << 20 / bufconn.BufferSize // far more than the sockets' buffers hold
 	written := 0
 	b.hop.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
 	for ; written < most; written++ {
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -72,7 +72,7 @@
 }
 
 // offer writes the first line and waits for the answer.
-func (b *branch) offer(l *bufconn.Leg, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
+func (b *branch) offer(l *bufconn.Conn, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
 	now := time.Now()
 	// A dial may take long: what has come meanwhile counts, so it is looked at again just
 	// before the first byte. The caller may have left, in a moment in which nobody has
@@ -82,11 +82,11 @@
 		b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
-	if err := l.WriteText(b.t.Forward(now, b.deadline), b.deadline); err != nil {
+	if err := l.WriteLine(b.t.Forward(now, b.deadline), b.deadline); err != nil {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport // its last byte was not written
 	}
 	b.t.Figures.Forwarded()
-	text, err := l.ReadText(b.deadline)
+	text, err := l.ReadTextLineBefore(b.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return false, balance.TimedOut, balance.EmptyLoadReport
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -109,7 +109,7 @@
 		{"bye", "BYE\r\n", false, told{outcome: balance.OK}},
 		{"move", "MOVE\r\n", false, told{outcome: balance.Cancelled}},
 		{"malformed", "WHAT IS THIS\r\n", false, told{outcome: balance.Errored}},
-		{"endless", strings.Repeat("UP", bufconn.Size), false, told{outcome: balance.Reset}},
+		{"endless", strings.Repeat("UP", bufconn.BufferSize), false, told{outcome: balance.Reset}},
 		{"ends", "", false, told{outcome: balance.Reset}},
 		{"ends within its answer", "UP r", false, told{outcome: balance.Reset}},
 		{"resets", "", true, told{outcome: balance.Reset}},
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -28,7 +28,7 @@
 
 // probeLoop owns the kept connection of one next hop.
 func (h *Hops) probeLoop(ctx context.Context, p *hop) {
-	var l *bufconn.Leg
+	var l *bufconn.Conn
 	at := "" // where l goes to
 	closeKept := func() {
 		if l != nil {
@@ -89,7 +89,7 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Leg, deadline time.Time) (balance.LoadReport, error) {
+func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
 	if *kept == nil {
 		conn, err := h.dial(ctx, addr, deadline)
 		if err != nil {
@@ -100,10 +100,10 @@
 	l := *kept
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	if err := l.WriteText(lineproto.Stats, deadline); err != nil {
+	if err := l.WriteLine(lineproto.Stats, deadline); err != nil {
 		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
-	text, err := l.ReadText(deadline)
+	text, err := l.ReadTextLineBefore(deadline)
 	if err != nil {
 		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -11,7 +11,7 @@
 // while it rested, and nobody would answer. A line is a second answer
 // to the last question; taken for the next one's, all later answers would be one behind.
 // It waits for nothing. What is read is lost: a connection that is not quiet is not kept.
-func quiet(l *bufconn.Leg) bool {
+func quiet(l *bufconn.Conn) bool {
 	if l.R.Buffered() > 0 {
 		return false
 	}
