--- a/balance/rough_test.go
+++ b/balance/rough_test.go
@@ -21,7 +21,7 @@
 	now     time.Duration
 	coming  moments
 	nodes   []*Balancer
-	book    *refmodel.Book
+	book    *refmodel.Checker
 	set     Settings
 	room    float64 // connections that fill a warm server
 	servers map[string]*ServerEntry
@@ -56,7 +56,7 @@
 	return last
 }
 
-func newRough(t *testing.T, seed uint64, set Settings, book *refmodel.Book, nodes, servers int, room float64) *rough {
+func newRough(t *testing.T, seed uint64, set Settings, book *refmodel.Checker, nodes, servers int, room float64) *rough {
 	r := &rough{t: t, rng: rand.New(rand.NewPCG(seed, 2)), now: time.Minute, book: book, set: set, room: room,
 		servers: map[string]*ServerEntry{}, conns: map[string]map[string]int{}, shown: map[string]LoadReport{},
 		hung: map[string]bool{}, tries: map[string]int{}, due: map[string]time.Duration{}}
@@ -87,7 +87,7 @@
 		r.conns[e.ID] = map[string]int{}
 	}
 	r.servers[e.ID] = &e
-	r.book.Told(r.now, e.ID, refmodel.State(e.State), e.StartedAt)
+	r.book.NodeNotified(r.now, e.ID, refmodel.ServerState(e.State), e.StartedAt)
 	for n := range r.nodes {
 		r.tell(n, ListUpdate{Kind: ListDelta, Entries: []ServerEntry{e}})
 	}
@@ -129,7 +129,7 @@
 	r.ids++
 	id := fmt.Sprint("r", r.ids)
 	r.due[id] = r.now + 2*time.Second
-	r.book.Asked(r.now, id, r.due[id], refmodel.Repeats{})
+	r.book.RequestArrived(r.now, id, r.due[id], refmodel.Retries{})
 	r.tell(r.rng.IntN(len(r.nodes)), Request{ID: id, Class: "c", Reconnecting: returned, Deadline: r.due[id]})
 }
 
@@ -143,9 +143,9 @@
 		case Attempt:
 			r.attempt(n, a)
 		case Reject:
-			r.book.Answered(r.now, a.ID, refmodel.Refused)
+			r.book.RequestAnswered(r.now, a.ID, refmodel.Refused)
 		case Fail:
-			r.book.Answered(r.now, a.ID, refmodel.Failed)
+			r.book.RequestAnswered(r.now, a.ID, refmodel.Failed)
 		case Migrate:
 			r.in(ms, func() { r.end(n, a.ID, Cancelled) })
 		}
@@ -163,12 +163,12 @@
 }
 
 func (r *rough) attempt(n int, a Attempt) {
-	r.book.Sent(r.now, a.ID, a.Server)
+	r.book.AttemptSent(r.now, a.ID, a.Server)
 	try := r.tries[a.ID]
 	r.tries[a.ID]++
-	failed := func(o Outcome, how refmodel.End) func() {
+	failed := func(o Outcome, how refmodel.AttemptOutcome) func() {
 		return func() {
-			r.book.Ended(r.now, a.ID, how)
+			r.book.AttemptEnded(r.now, a.ID, how)
 			r.tell(n, AttemptEnded{ID: a.ID, Attempt: try, Server: a.Server, Outcome: o, LoadReport: EmptyLoadReport})
 		}
 	}
@@ -180,7 +180,7 @@
 	default:
 		r.conns[a.Server][a.ID] = n
 		r.in(5*ms, func() {
-			r.book.Answered(r.now, a.ID, refmodel.Served)
+			r.book.RequestAnswered(r.now, a.ID, refmodel.Served)
 			r.tell(n, ConnectionEstablished{ID: a.ID, Attempt: try, Server: a.Server, Latency: 5 * ms})
 			r.in(time.Duration(r.rng.ExpFloat64()*float64(10*time.Second)), func() { r.end(n, a.ID, OK) })
 		})
@@ -216,7 +216,7 @@
 		m := heap.Pop(&r.coming).(moment)
 		r.now = m.at
 		m.do()
-		r.book.Pass(r.now)
+		r.book.CheckDeadlines(r.now)
 	}
 	r.now = until
 }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -29,7 +29,7 @@
 			w.step()
 		}
 		w.pass(2 * time.Second)
-		if owed := w.book.Owed(); len(owed) > 0 {
+		if owed := w.book.Unanswered(); len(owed) > 0 {
 			t.Fatalf("seed %d: never answered: %v", seed, owed)
 		}
 	}
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -142,17 +142,17 @@
 		set.Instances = nodes
 		set.Rules.OverloadDuration = 1500 * ms
 		full := rate / load / servers // a second, for one warm server
-		book := refmodel.NewBook(refmodel.Terms{Grace: 5 * ms, Attempts: 3, Drain: time.Second, Ramp: set.Rules.SlowStartWindow, ColdShare: 0.2,
-			Rate: full, Multiple: 3, Window: set.Rules.OverloadDuration, Chance: 2})
+		book := refmodel.NewChecker(refmodel.Rules{AnswerGrace: 5 * ms, MaxAttempts: 3, DrainGrace: time.Second, SlowStartDuration: set.Rules.SlowStartWindow, SlowStartShare: 0.2,
+			ServerRate: full, OverloadMultiple: 3, OverloadWindow: set.Rules.OverloadDuration, ChanceAllowance: 2})
 		r := newRough(t, seed, set, book, nodes, servers, full*life.Seconds())
-		r.play(8*time.Second, rate, 0)       // usual
-		r.start("new")                       // with no connections
-		r.play(1500*ms, rate, 2*rate)        // and a wave that returns
-		r.hung["s1"] = true                  // and one answers nothing
-		r.play(3*time.Second, rate, rate)    //
-		r.start("s2")                        // a process replaced under its id
-		r.play(4*time.Second, rate, rate/2)  //
-		for _, broken := range book.Broken { // all rules, not the fourth alone
+		r.play(8*time.Second, rate, 0)           // usual
+		r.start("new")                           // with no connections
+		r.play(1500*ms, rate, 2*rate)            // and a wave that returns
+		r.hung["s1"] = true                      // and one answers nothing
+		r.play(3*time.Second, rate, rate)        //
+		r.start("s2")                            // a process replaced under its id
+		r.play(4*time.Second, rate, rate/2)      //
+		for _, broken := range book.Violations { // all rules, not the fourth alone
 			t.Errorf("seed %d: %s", seed, broken)
 		}
 		if got := len(r.conns["new"]); got < 10 {
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -16,7 +16,7 @@
 	rng      *rand.Rand
 	set      Settings
 	d        *bench
-	book     *refmodel.Book
+	book     *refmodel.Checker
 	requests map[string]*job
 	servers  map[string]*ServerEntry
 	probes   []string
@@ -38,8 +38,8 @@
 
 func newWorld(t *testing.T, seed uint64, set Settings) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, requests: map[string]*job{},
-		servers: map[string]*ServerEntry{}, book: refmodel.NewBook(refmodel.Terms{Grace: set.Rules.AnswerGrace,
-			Attempts: set.Limits.MaxAttempts, Drain: set.Rules.DrainGrace, Prompt: 2 * set.Tick})}
+		servers: map[string]*ServerEntry{}, book: refmodel.NewChecker(refmodel.Rules{AnswerGrace: set.Rules.AnswerGrace,
+			MaxAttempts: set.Limits.MaxAttempts, DrainGrace: set.Rules.DrainGrace, PromptLimit: 2 * set.Tick})}
 	w.d = newBench(t, set)
 	for i := range 6 {
 		w.servers[fmt.Sprint("s", i)] = &ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2), Cell: i % 3}
@@ -61,7 +61,7 @@
 	var list []ServerEntry
 	for _, id := range w.ordered() {
 		s := w.servers[id]
-		w.book.Told(w.d.now, id, refmodel.State(s.State), s.StartedAt)
+		w.book.NodeNotified(w.d.now, id, refmodel.ServerState(s.State), s.StartedAt)
 		if kind == ListDelta || s.State != Gone {
 			list = append(list, *s)
 		}
@@ -70,15 +70,15 @@
 }
 
 // repeats is what the book has to know of a class.
-func (w *world) repeats(c Class) refmodel.Repeats {
-	r := refmodel.Repeats{Never: c.Idempotency == NonIdempotent}
+func (w *world) repeats(c Class) refmodel.Retries {
+	r := refmodel.Retries{Forbidden: c.Idempotency == NonIdempotent}
 	if c.Idempotency == IdempotencyKeyed {
 		r.Within = c.KeyWindow
 		switch c.KeyScope {
 		case ScopeZone:
-			r.Same = func(ran, s string) bool { return w.servers[ran].Zone == w.servers[s].Zone }
+			r.AllowedOn = func(ran, s string) bool { return w.servers[ran].Zone == w.servers[s].Zone }
 		case ScopeCell:
-			r.Same = func(ran, s string) bool { return w.servers[ran].Cell == w.servers[s].Cell }
+			r.AllowedOn = func(ran, s string) bool { return w.servers[ran].Cell == w.servers[s].Cell }
 		}
 	}
 	return r
@@ -91,16 +91,16 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Attempt:
-			w.book.Sent(w.d.now, a.ID, a.Server)
+			w.book.AttemptSent(w.d.now, a.ID, a.Server)
 			j := w.requests[a.ID]
 			w.within(j.Constraint, w.servers[a.Server].Zone)
 			j.out = a.Server
 			j.attempts++
 		case Reject:
-			w.book.Answered(w.d.now, a.ID, refmodel.Refused)
+			w.book.RequestAnswered(w.d.now, a.ID, refmodel.Refused)
 			w.requests[a.ID].over = true
 		case Fail:
-			w.book.Answered(w.d.now, a.ID, refmodel.Failed)
+			w.book.RequestAnswered(w.d.now, a.ID, refmodel.Failed)
 			w.requests[a.ID].over = true
 		case Probe:
 			if s := w.servers[a.Server]; s == nil {
@@ -113,8 +113,8 @@
 			}
 		}
 	}
-	if len(w.book.Broken) > 0 {
-		w.t.Fatal(w.book.Broken)
+	if len(w.book.Violations) > 0 {
+		w.t.Fatal(w.book.Violations)
 	}
 }
 
@@ -126,13 +126,13 @@
 	switch {
 	case j.open:
 	case o == OK:
-		w.book.Answered(w.d.now, j.ID, refmodel.Served)
+		w.book.RequestAnswered(w.d.now, j.ID, refmodel.Served)
 	case o == AtCapacity || o == ConnectFailed || o == NotSent:
-		w.book.Ended(w.d.now, j.ID, refmodel.NotRun)
+		w.book.AttemptEnded(w.d.now, j.ID, refmodel.NotRun)
 	case o == Errored:
-		w.book.Ended(w.d.now, j.ID, refmodel.MayRun)
+		w.book.AttemptEnded(w.d.now, j.ID, refmodel.MayRun)
 	default:
-		w.book.Ended(w.d.now, j.ID, refmodel.NoReply)
+		w.book.AttemptEnded(w.d.now, j.ID, refmodel.NoReply)
 	}
 	j.over = final
 	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, LoadReport: EmptyLoadReport}))
@@ -148,7 +148,7 @@
 			q.Constraint = &ZoneConstraint{Zones: []ZoneShare{{"z0", float64(w.rng.IntN(3)) / 2}}, DefaultShare: float64(w.rng.IntN(3)) / 2}
 		}
 		w.requests[q.ID] = &job{Request: q}
-		w.book.Asked(w.d.now, q.ID, q.Deadline, w.repeats(c))
+		w.book.RequestArrived(w.d.now, q.ID, q.Deadline, w.repeats(c))
 		w.check(w.d.tell(q))
 	case 3, 4, 5:
 		if n := len(w.probes); n > 0 {
@@ -174,7 +174,7 @@
 				w.end(j, []Outcome{OK, Reset, Cancelled}[w.rng.IntN(3)])
 			case o == OK && w.rng.IntN(2) == 0:
 				j.open = true
-				w.book.Answered(w.d.now, j.ID, refmodel.Served)
+				w.book.RequestAnswered(w.d.now, j.ID, refmodel.Served)
 				w.check(w.d.tell(ConnectionEstablished{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
 			default:
 				w.end(j, o)
@@ -212,7 +212,7 @@
 func (w *world) leave(j *job) {
 	server, try := j.out, j.attempts-1
 	j.out, j.over = "", true
-	w.book.Left(w.d.now, j.ID)
+	w.book.ClientLeft(w.d.now, j.ID)
 	w.check(w.d.tell(ClientGone{ID: j.ID}))
 	if server == "" {
 		return
@@ -237,7 +237,7 @@
 				w.end(j, TimedOut)
 			}
 		}
-		w.book.Pass(w.d.now)
+		w.book.CheckDeadlines(w.d.now)
 		w.check(nil)
 	}
 }
--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -31,7 +31,7 @@
 	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
 	var got atomic.Int32
 	hop := listen(t, nextHop(&got))
-	list := fake.NewRoster()
+	list := fake.NewDiscovery()
 	t.Cleanup(list.Close)
 	for i := range hops { // s1 first, which the node knows by its configuration
 		list.Set(fmt.Sprint("s", i+1), fake.Active, time.Time{}, map[string]string{"n0": hop})
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -124,7 +124,7 @@
 // names is a discovery that names one next hop.
 func names(t *testing.T, hop string) string {
 	t.Helper()
-	r := fake.NewRoster()
+	r := fake.NewDiscovery()
 	r.Set("s1", fake.Active, time.Time{}, map[string]string{"n0": hop})
 	addr, err := r.Listen("n0")
 	if err != nil {
--- a/cmd/coralscenario/main.go
+++ b/cmd/coralscenario/main.go
@@ -129,7 +129,7 @@
 	if c.Nodes < 5 || c.Nodes > 9 || c.Servers < 6 || c.Servers > 40 || !(c.Rate >= 20 && c.Rate <= 1000) {
 		return errors.New("5 to 9 nodes, 6 to 40 servers and a rate of 20 to 1000 are wanted")
 	}
-	r, err := scenario.Fleet(ctx, scenario.FleetOptions{Seed: c.Seed, Nodes: c.Nodes, Servers: c.Servers, Rate: c.Rate, Alone: c.Alone, Steps: c.Steps,
+	r, err := scenario.Fleet(ctx, scenario.FleetOptions{Seed: c.Seed, Nodes: c.Nodes, Servers: c.Servers, Rate: c.Rate, WithoutAgents: c.Alone, Steps: c.Steps,
 		Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
--- a/cmd/coralscenario/promises.go
+++ b/cmd/coralscenario/promises.go
@@ -21,13 +21,13 @@
 
 func (c *promisesCmd) Run(ctx context.Context, top *cli) error {
 	if c.ListMutations {
-		return list(scenario.PromisesMutations)
+		return list(scenario.SLOMutations)
 	}
 	if c.Nodes < 5 || c.Nodes > 15 || c.Voters != 3 && c.Voters != 5 || c.Zones < 3 || c.Zones > 5 || c.Servers < 2*c.Zones || c.Servers > 30 || !(c.Rate >= 100 && c.Rate <= 1000) {
 		return errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 5 zones, two servers or more in each, 30 at most, and a rate of 100 to 1000 are wanted")
 	}
-	r, err := scenario.Promises(ctx, scenario.PromisesOptions{Seed: c.Seed, Nodes: c.Nodes, Voters: c.Voters, Zones: c.Zones, Servers: c.Servers, Rate: c.Rate,
-		Steps: c.Steps, Alone: c.Alone, Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
+	r, err := scenario.SLO(ctx, scenario.SLOOptions{Seed: c.Seed, Nodes: c.Nodes, Voters: c.Voters, Zones: c.Zones, Servers: c.Servers, Rate: c.Rate,
+		Steps: c.Steps, SteeredOnly: c.Alone, Binary: top.Node, Mutation: c.Mutation, Progress: terminal()})
 	if err != nil {
 		return err
 	}
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -18,15 +18,15 @@
 // Front is what a client asks where to go, as the platform's front layer would
 // have it. Gone tells whether a node was killed, or is ending, since a time: a
 // request that it took then may be lost.
-type Front interface {
+type NodePicker interface {
 	Pick(rng *rand.Rand) (node, addr string)
 	Gone(node string, since time.Time) bool
 }
 
 // Diary is told what clients see.
-type Diary interface {
+type ClientObserver interface {
 	// Broken is told that a rule broke.
-	Broken(rule, detail string)
+	AddViolation(rule, detail string)
 	// Answered is told the final answer to a first line: UP, BUSY or ERR.
 	Answered(key, answer string, presented bool, took time.Duration)
 	// Moved is told of a MOVE, and its token if it has one.
@@ -38,13 +38,13 @@
 
 // Client follows one group, for as long as it runs.
 type Client struct {
-	Key, Group string
-	Class      string
-	Patience   time.Duration // for the final answer
-	Front      Front
-	Diary      Diary
-	Twice      float64 // how often it presents a token at two nodes at once
-	Plain      bool    // does not ask for resumption
+	Key, Group        string
+	Class             string
+	Patience          time.Duration // for the final answer
+	Nodes             NodePicker
+	Observer          ClientObserver
+	DuplicateShare    float64 // how often it presents a token at two nodes at once
+	WithoutResumption bool    // does not ask for resumption
 
 	rng *rand.Rand
 	ids int
@@ -76,7 +76,7 @@
 func (c *Client) Run(ctx context.Context) {
 	c.versions = map[int]uint64{}
 	for token := ""; ctx.Err() == nil; {
-		if token != "" && c.rng.Float64() < c.Twice {
+		if token != "" && c.rng.Float64() < c.DuplicateShare {
 			token = c.twice(ctx, token)
 			continue
 		}
@@ -91,7 +91,7 @@
 func (c *Client) twice(ctx context.Context, token string) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	other := &Client{Key: c.Key, Group: c.Group, Class: c.Class, Patience: c.Patience, Front: c.Front, Diary: c.Diary,
+	other := &Client{Key: c.Key, Group: c.Group, Class: c.Class, Patience: c.Patience, Nodes: c.Nodes, Observer: c.Observer,
 		rng: rand.New(rand.NewPCG(c.rng.Uint64(), 2)), versions: map[int]uint64{}}
 	c.mu.Lock()
 	other.pos, other.placed, other.last = c.pos, c.placed, c.last
@@ -115,7 +115,7 @@
 // once makes one connection and follows it to its end. It returns the token to
 // present next, if there is one, and the pause before.
 func (c *Client) once(ctx context.Context, token string) (next string, pause time.Duration) {
-	node, addr := c.Front.Pick(c.rng)
+	node, addr := c.Nodes.Pick(c.rng)
 	again := 20*time.Millisecond + time.Duration(c.rng.IntN(180))*time.Millisecond
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -127,7 +127,7 @@
 	c.ids++
 	begun := time.Now()
 	list := fmt.Sprintf("c=%s,d=%d,g=%s", c.Class, c.Patience.Milliseconds(), c.Group)
-	if !c.Plain {
+	if !c.WithoutResumption {
 		if list += ",rs=1"; token != "" {
 			list = strings.TrimSuffix(list, "1") + token
 		}
@@ -146,20 +146,20 @@
 		return token, again
 	}
 	if err != nil {
-		if !c.Front.Gone(node, begun) {
-			c.Diary.Broken("one-answer", fmt.Sprintf("%s at %s: no answer after %v: %q, %v", c.Key, node, took, first, err))
+		if !c.Nodes.Gone(node, begun) {
+			c.Observer.AddViolation("one-answer", fmt.Sprintf("%s at %s: no answer after %v: %q, %v", c.Key, node, took, first, err))
 		}
 		return token, again
 	}
 	first = strings.TrimRight(first, "\r\n")
 	if took > c.Patience+50*time.Millisecond {
-		c.Diary.Broken("one-answer", fmt.Sprintf("%s at %s: %q came after %v", c.Key, node, first, took))
+		c.Observer.AddViolation("one-answer", fmt.Sprintf("%s at %s: %q came after %v", c.Key, node, first, took))
 	}
 	word, rest, _ := strings.Cut(first, " ")
-	c.Diary.Answered(c.Key, word, token != "", took)
+	c.Observer.Answered(c.Key, word, token != "", took)
 	if word != "UP" {
 		if extra, err := r.ReadString('\n'); err == nil {
-			c.Diary.Broken("one-answer", fmt.Sprintf("%s at %s: %q after %q", c.Key, node, extra, first))
+			c.Observer.AddViolation("one-answer", fmt.Sprintf("%s at %s: %q after %q", c.Key, node, extra, first))
 		}
 		if ms, err := strconv.Atoi(rest); err == nil && word == "BUSY" {
 			again += time.Duration(ms) * time.Millisecond
@@ -196,8 +196,8 @@
 	for {
 		text, err := r.ReadString('\n')
 		if err != nil {
-			if streams && !began && ctx.Err() == nil && errorIsTimeout(err) && !c.Front.Gone(node, time.Now().Add(-3*time.Second)) {
-				c.Diary.Broken("silence", fmt.Sprintf("%s at %s: UP, and then no stream", c.Key, node))
+			if streams && !began && ctx.Err() == nil && errorIsTimeout(err) && !c.Nodes.Gone(node, time.Now().Add(-3*time.Second)) {
+				c.Observer.AddViolation("silence", fmt.Sprintf("%s at %s: UP, and then no stream", c.Key, node))
 			}
 			return ""
 		}
@@ -206,20 +206,20 @@
 		word, rest, _ := strings.Cut(text, " ")
 		switch word {
 		case "MOVE":
-			if !c.Plain {
-				c.Diary.Moved(c.Key, c.Group, rest)
+			if !c.WithoutResumption {
+				c.Observer.Moved(c.Key, c.Group, rest)
 			} else if rest != "" {
-				c.Diary.Broken("unasked", fmt.Sprintf("%s: %q to a client that did not ask", c.Key, text))
+				c.Observer.AddViolation("unasked", fmt.Sprintf("%s: %q to a client that did not ask", c.Key, text))
 			}
 			return rest
 		case "RESUMED", "SNAPSHOT", "ITEM", "UPD":
 			if err := c.take(word, rest, &left, &began, presented, up); err != nil {
-				c.Diary.Broken("stream", fmt.Sprintf("%s at %s: %q: %v", c.Key, node, text, err))
+				c.Observer.AddViolation("stream", fmt.Sprintf("%s at %s: %q: %v", c.Key, node, text, err))
 				return ""
 			}
 		case "HEY", "BYE", "LOAD", "POS":
 		default:
-			c.Diary.Broken("stream", fmt.Sprintf("%s at %s: %q", c.Key, node, text))
+			c.Observer.AddViolation("stream", fmt.Sprintf("%s at %s: %q", c.Key, node, text))
 		}
 	}
 }
@@ -241,7 +241,7 @@
 			gap = now.Sub(c.last)
 		}
 		*began, c.since, c.last = true, now, now
-		c.Diary.Streaming(c.Key, presented, resumed, now.Sub(up), gap)
+		c.Observer.Streaming(c.Key, presented, resumed, now.Sub(up), gap)
 	}
 	switch {
 	case word == "RESUMED" && len(words) == 1 && !*began:
--- a/internal/fake/present.go
+++ b/internal/fake/present.go
@@ -13,7 +13,7 @@
 // Present shows a token once, as whoever key and group say, and leaves when it has
 // seen how the stream begins. It returns the final answer's first word and that of
 // the stream; empty where there was none.
-func Present(ctx context.Context, f Front, rng *rand.Rand, key, group, class, token string, patience time.Duration) (answer, stream string) {
+func PresentToken(ctx context.Context, f NodePicker, rng *rand.Rand, key, group, class, token string, patience time.Duration) (answer, stream string) {
 	_, addr := f.Pick(rng)
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/fake/resumption.go
+++ b/internal/fake/resumption.go
@@ -48,7 +48,7 @@
 			seen.Resumed, seen.Bytes = true, len(text)+len(body)
 			seen.Snapshot = len(c.snapshot(epoch, base, head))
 			c.sent = max(have, head)
-			c.s.Witness.Started(seen)
+			c.s.Observer.Started(seen)
 			return c.write(text + body)
 		}
 	}
@@ -65,7 +65,7 @@
 	}
 	text := c.snapshot(epoch, base, head)
 	seen.Bytes, seen.Snapshot = len(text), len(text)
-	c.s.Witness.Started(seen)
+	c.s.Observer.Started(seen)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent = head
--- a/internal/fake/roster.go
+++ b/internal/fake/roster.go
@@ -40,7 +40,7 @@
 
 // Roster is the list service. Each node asks at an address of its own, so that it
 // is known what each was told and when.
-type Roster struct {
+type Discovery struct {
 	mu         sync.Mutex
 	generation int64
 	entries    map[string]Instance
@@ -52,12 +52,12 @@
 }
 
 // NewRoster returns an empty roster.
-func NewRoster() *Roster {
-	return &Roster{entries: map[string]Instance{}, zones: map[string]string{}, changed: make(chan struct{}), told: map[string]map[string]time.Time{}}
+func NewDiscovery() *Discovery {
+	return &Discovery{entries: map[string]Instance{}, zones: map[string]string{}, changed: make(chan struct{}), told: map[string]map[string]time.Time{}}
 }
 
 // Listen opens the address at which node asks.
-func (r *Roster) Listen(node string) (string, error) {
+func (r *Discovery) Listen(node string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -74,7 +74,7 @@
 }
 
 // Close ends all watches.
-func (r *Roster) Close() {
+func (r *Discovery) Close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.servers {
@@ -83,7 +83,7 @@
 }
 
 // Place says in which zone a server is, before it is listed; a is where all others are.
-func (r *Roster) Place(id, zone string) {
+func (r *Discovery) SetZone(id, zone string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.zones[id] = zone
@@ -91,7 +91,7 @@
 
 // Set puts an entry into the list or changes it. addrs are the server's addresses,
 // one for each node; nil keeps them.
-func (r *Roster) Set(id, lifecycle string, started time.Time, addrs map[string]string) {
+func (r *Discovery) Set(id, lifecycle string, started time.Time, addrs map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[id]
@@ -114,14 +114,14 @@
 
 // Told is when node was told that the server drains or is gone; zero if it was
 // not, or has been told since that it is back.
-func (r *Roster) Told(node, server string) time.Time {
+func (r *Discovery) NotifiedAt(node, server string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.told[node][server]
 }
 
 // since returns what a node that has seen from is to be told.
-func (r *Roster) since(node string, from int64) (generation int64, reset bool, list []Instance, more <-chan struct{}) {
+func (r *Discovery) since(node string, from int64) (generation int64, reset bool, list []Instance, more <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from <= 0 || from > r.generation {
@@ -142,7 +142,7 @@
 	return r.generation, reset, list, r.changed
 }
 
-func (r *Roster) note(node string, list []Instance) {
+func (r *Discovery) note(node string, list []Instance) {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -155,7 +155,7 @@
 	}
 }
 
-func (r *Roster) serve(node string, w http.ResponseWriter, q *http.Request) {
+func (r *Discovery) serve(node string, w http.ResponseWriter, q *http.Request) {
 	from, _ := strconv.ParseInt(q.FormValue("from"), 10, 64)
 	watch := q.FormValue("watch") == "1"
 	if !watch {
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -25,7 +25,7 @@
 }
 
 // Witness is told what feed servers see.
-type Witness interface {
+type ServerObserver interface {
 	Opened(o Opened)
 	Started(s Started)
 }
@@ -34,7 +34,7 @@
 type ServerOptions struct {
 	Name     string
 	Feed     *Feed
-	Witness  Witness
+	Observer ServerObserver
 	Lag      time.Duration // how far it is behind the feed
 	History  int           // changes of a group that it can send again
 	Capacity int           // connections that fill it
@@ -166,10 +166,10 @@
 }
 
 // Report has the server report this load, in place of its own; 0 for its own.
-func (s *Server) Report(load float64) { s.load.Store(int64(load * 1000)) }
+func (s *Server) SetLoad(load float64) { s.load.Store(int64(load * 1000)) }
 
 // Held is how many connections stand.
-func (s *Server) Held() (n int) {
+func (s *Server) OpenConnections() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -209,7 +209,7 @@
 }
 
 func (s *Server) stats() string {
-	held := s.Held() + s.flows.count(time.Now())
+	held := s.OpenConnections() + s.flows.count(time.Now())
 	load := float64(held) / float64(max(1, s.Capacity))
 	if forced := s.load.Load(); forced > 0 {
 		load = float64(forced) / 1000
@@ -219,7 +219,7 @@
 
 // take tells whether a first line is taken.
 func (s *Server) take(c *stream, key, group string) bool {
-	held := s.Held()
+	held := s.OpenConnections()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining || !s.running || held >= 2*s.Capacity {
--- a/internal/fake/spoilt.go
+++ b/internal/fake/spoilt.go
@@ -5,15 +5,15 @@
 func (s *Server) Hang(on bool) { s.hung.Store(on) }
 
 // Spoilt is how a server fails while its process runs.
-type Spoilt int32
+type FaultMode int32
 
 // The ways to fail.
 const (
-	Sound  Spoilt = iota
-	Errors        // every first line is answered ERR, probes as if nothing were wrong
-	Full          // every first line is answered BUSY, likewise
-	Silent        // nothing is answered any more
+	Healthy       FaultMode = iota
+	AnswersErrors           // every first line is answered ERR, probes as if nothing were wrong
+	AnswersBusy             // every first line is answered BUSY, likewise
+	Unresponsive            // nothing is answered any more
 )
 
 // Spoil has the server fail in a way, or work again.
-func (s *Server) Spoil(way Spoilt) { s.spoilt.Store(int32(way)) }
+func (s *Server) SetFault(way FaultMode) { s.spoilt.Store(int32(way)) }
--- a/internal/fake/stream.go
+++ b/internal/fake/stream.go
@@ -58,10 +58,10 @@
 		if word == "STATS" {
 			c.s.draws.Add(1)
 		}
-		if Spoilt(c.s.spoilt.Load()) == Silent {
+		if FaultMode(c.s.spoilt.Load()) == Unresponsive {
 			// It came all the same: who sends to a silent server is to be seen.
 			if key, ok := opens(word, rest); ok {
-				c.s.Witness.Opened(Opened{c.s.Name, c.node, key, time.Now()})
+				c.s.Observer.Opened(Opened{c.s.Name, c.node, key, time.Now()})
 			}
 			continue
 		}
@@ -104,7 +104,7 @@
 		return c.say("SYNTAX")
 	}
 	words := strings.Split(rest, " ")
-	c.s.Witness.Opened(Opened{c.s.Name, c.node, key, time.Now()})
+	c.s.Observer.Opened(Opened{c.s.Name, c.node, key, time.Now()})
 	group, up := "", "UP r-"+words[0]
 	for pair := range strings.SplitSeq(words[2], ",") {
 		name, value, _ := strings.Cut(pair, "=")
@@ -118,12 +118,12 @@
 			up += " rs=1"
 		}
 	}
-	spoilt := Spoilt(c.s.spoilt.Load())
-	if spoilt == Errors {
+	spoilt := FaultMode(c.s.spoilt.Load())
+	if spoilt == AnswersErrors {
 		_ = c.say("ERR")
 		return errRefused
 	}
-	if spoilt == Full || !c.s.take(c, key, group) {
+	if spoilt == AnswersBusy || !c.s.take(c, key, group) {
 		_ = c.say("BUSY")
 		return errRefused
 	}
--- a/internal/fake/udp.go
+++ b/internal/fake/udp.go
@@ -103,7 +103,7 @@
 // Beacon is one flow from an address of its own, so that no other flow is ever taken
 // for it: it sends so many datagrams, each when the one before was
 // answered or has waited. It returns how many were answered, and whatever else came.
-func Beacon(ctx context.Context, to, name string, number uint32, datagrams int, every time.Duration) (answered int, strange []string) {
+func ProbeFlow(ctx context.Context, to, name string, number uint32, datagrams int, every time.Duration) (answered int, strange []string) {
 	from := source(number)
 	from.Port = beaconPort // the same client's again when its number comes again
 	conn, err := (&net.Dialer{LocalAddr: from}).DialContext(ctx, "udp", to)
--- a/internal/refmodel/requests.go
+++ b/internal/refmodel/requests.go
@@ -10,7 +10,7 @@
 type request struct {
 	id       string
 	deadline time.Duration
-	repeats  Repeats
+	repeats  Retries
 	out      string // where its attempt is; empty if none is out
 	sentAt   time.Duration
 	idle     time.Duration // since when none is out
@@ -25,8 +25,8 @@
 }
 
 // Asked takes a new request. Its id may be one whose request is over.
-func (b *Book) Asked(now time.Duration, id string, deadline time.Duration, r Repeats) {
-	b.Pass(now)
+func (b *Checker) RequestArrived(now time.Duration, id string, deadline time.Duration, r Retries) {
+	b.CheckDeadlines(now)
 	q := &request{id: id, deadline: deadline, repeats: r, idle: now, hopeless: -1}
 	b.requests[id] = q
 	b.open = append(b.open, q)
@@ -34,27 +34,27 @@
 }
 
 // Sent takes an attempt, as its server sees it.
-func (b *Book) Sent(now time.Duration, id, to string) {
-	b.Pass(now)
+func (b *Checker) AttemptSent(now time.Duration, id, to string) {
+	b.CheckDeadlines(now)
 	q, s := b.requests[id], b.servers[to]
 	if q == nil || s == nil || !s.known {
 		b.broken(3, "%s sent to %s: nobody told of one of them", id, to)
 		return
 	}
-	crossed := q.closed == "left" && now <= q.closedAt+b.terms.Left // the node may not have seen it yet
+	crossed := q.closed == "left" && now <= q.closedAt+b.terms.ClientGoneGrace // the node may not have seen it yet
 	switch {
 	case q.closed != "" && !crossed:
 		b.broken(2, "%s sent to %s though it is %s", id, to, q.closed)
 	case q.out != "":
 		b.broken(2, "%s sent to %s while it is out at %s", id, to, q.out)
-	case q.attempts >= b.terms.Attempts:
-		b.broken(2, "%s sent more than %d times", id, b.terms.Attempts)
+	case q.attempts >= b.terms.MaxAttempts:
+		b.broken(2, "%s sent more than %d times", id, b.terms.MaxAttempts)
 	case q.over || !b.mayRepeat(q, to):
 		b.broken(2, "%s sent again to %s, where its effect may come twice", id, to)
 	case now > q.deadline:
 		b.broken(1, "%s sent after its client gave up", id)
 	}
-	if since, yes := b.leaving(s); yes && now > since+b.terms.Drain {
+	if since, yes := b.leaving(s); yes && now > since+b.terms.DrainGrace {
 		b.broken(3, "%s sent to %s, told %v ago to be leaving", id, to, now-since)
 	}
 	if q.closed == "" || crossed {
@@ -67,8 +67,8 @@
 }
 
 // Ended takes the end of the attempt that is out, unless it was served.
-func (b *Book) Ended(now time.Duration, id string, how End) {
-	b.Pass(now)
+func (b *Checker) AttemptEnded(now time.Duration, id string, how AttemptOutcome) {
+	b.CheckDeadlines(now)
 	q := b.requests[id]
 	if q == nil || q.out == "" {
 		return
@@ -85,8 +85,8 @@
 }
 
 // Answered takes a final answer, as the client sees it.
-func (b *Book) Answered(now time.Duration, id string, a Answer) {
-	b.Pass(now)
+func (b *Checker) RequestAnswered(now time.Duration, id string, a Answer) {
+	b.CheckDeadlines(now)
 	q := b.requests[id]
 	switch {
 	case q == nil:
@@ -101,23 +101,23 @@
 		b.broken(1, "%s answered as served, but no attempt is out", id)
 	case a != Served && q.out != "":
 		b.broken(2, "%s answered while it is out at %s", id, q.out)
-	case a == Refused && q.ran != "" && (q.repeats.Never || q.repeats.Same != nil):
+	case a == Refused && q.ran != "" && (q.repeats.Forbidden || q.repeats.AllowedOn != nil):
 		b.broken(1, "%s refused as harmless though it may have run", id)
-	case now > q.deadline+b.terms.Grace:
+	case now > q.deadline+b.terms.AnswerGrace:
 		b.broken(1, "%s answered %v after its client gave up", id, now-q.deadline)
 	}
 	b.close(q, "answered")
 }
 
 // Left takes that a client has gone before its answer: none is owed any more.
-func (b *Book) Left(now time.Duration, id string) {
-	b.Pass(now)
+func (b *Checker) ClientLeft(now time.Duration, id string) {
+	b.CheckDeadlines(now)
 	if q := b.requests[id]; q != nil && q.closed == "" {
 		b.close(q, "left")
 	}
 }
 
-func (b *Book) close(q *request, how string) {
+func (b *Checker) close(q *request, how string) {
 	q.closed, q.closedAt = how, b.now
 	if how != "left" { // then its attempt is out until it ends
 		q.out = ""
@@ -126,7 +126,7 @@
 }
 
 // look notes of every request since when nobody may be sent it.
-func (b *Book) look() {
+func (b *Checker) look() {
 	for _, q := range b.open {
 		switch since, hopeless := b.givenUp(q); {
 		case !hopeless:
@@ -138,11 +138,11 @@
 }
 
 // givenUp tells whether nobody may be sent q any more, and since when.
-func (b *Book) givenUp(q *request) (since time.Duration, yes bool) {
+func (b *Checker) givenUp(q *request) (since time.Duration, yes bool) {
 	if q.out != "" {
 		return 0, false
 	}
-	if q.over || q.attempts >= b.terms.Attempts || q.ran != "" && q.repeats.Never {
+	if q.over || q.attempts >= b.terms.MaxAttempts || q.ran != "" && q.repeats.Forbidden {
 		return b.now, true
 	}
 	if !b.listed {
@@ -163,10 +163,10 @@
 }
 
 // mayRepeat tells whether q may be sent to a server, given that it may have run.
-func (b *Book) mayRepeat(q *request, to string) bool {
+func (b *Checker) mayRepeat(q *request, to string) bool {
 	if q.ran == "" {
 		return true
 	}
 	r := q.repeats
-	return !r.Never && (r.Within == 0 || b.now < q.ranAt+r.Within) && (r.Same == nil || r.Same(q.ran, to))
+	return !r.Forbidden && (r.Within == 0 || b.now < q.ranAt+r.Within) && (r.AllowedOn == nil || r.AllowedOn(q.ran, to))
 }
--- a/internal/refmodel/rules.go
+++ b/internal/refmodel/rules.go
@@ -22,29 +22,29 @@
 )
 
 // Terms are the figures of the rules. Times are on the caller's clock.
-type Terms struct {
-	Grace    time.Duration // rule 1: an answer still counts this long after the deadline
-	Attempts int           // rule 2: of one request, at most
-	Left     time.Duration // none begins later than this after its client has gone
-	Drain    time.Duration // rule 3
-	Told     time.Duration // a change counts as told this long after discovery had it; 0 where it pushes
-
-	Ramp      time.Duration // rule 4: a server is warm after it
-	ColdShare float64       // of its capacity that a server starts with
-	Rate      float64       // requests a second that a warm one can take; 0 leaves the rule out
-	Multiple  float64       // of its present capacity that a cold one may be sent
-	Window    time.Duration // within any such time
-	Chance    float64       // requests beyond, where few processes keep closer than chance allows; 0: they don't
-
-	Prompt time.Duration // rule 5: what passes for at once
-	Tick   time.Duration // and when the end of a window is seen, which nothing tells of
+type Rules struct {
+	AnswerGrace     time.Duration // rule 1: an answer still counts this long after the deadline
+	MaxAttempts     int           // rule 2: of one request, at most
+	ClientGoneGrace time.Duration // none begins later than this after its client has gone
+	DrainGrace      time.Duration // rule 3
+	NotifyDelay     time.Duration // a change counts as told this long after discovery had it; 0 where it pushes
+
+	SlowStartDuration time.Duration // rule 4: a server is warm after it
+	SlowStartShare    float64       // of its capacity that a server starts with
+	ServerRate        float64       // requests a second that a warm one can take; 0 leaves the rule out
+	OverloadMultiple  float64       // of its present capacity that a cold one may be sent
+	OverloadWindow    time.Duration // within any such time
+	ChanceAllowance   float64       // requests beyond, where few processes keep closer than chance allows; 0: they don't
+
+	PromptLimit time.Duration // rule 5: what passes for at once
+	Tick        time.Duration // and when the end of a window is seen, which nothing tells of
 }
 
 // Repeats says where a request that may have run may be sent once more.
-type Repeats struct {
-	Never  bool                          // nowhere
-	Within time.Duration                 // no later than this after it ran; 0 sets no limit
-	Same   func(ran, server string) bool // nil: everywhere
+type Retries struct {
+	Forbidden bool                          // nowhere
+	Within    time.Duration                 // no later than this after it ran; 0 sets no limit
+	AllowedOn func(ran, server string) bool // nil: everywhere
 }
 
 // Answer is a final answer.
@@ -58,31 +58,31 @@
 )
 
 // End is how an attempt ended that was not served.
-type End int
+type AttemptOutcome int
 
 // The ends.
 const (
-	NotRun  End = iota // it has never run: it may go elsewhere
-	MayRun             // it may have run, and the server has answered
-	NoReply            // it may have run, or may yet: nothing is sent again
+	NotRun  AttemptOutcome = iota // it has never run: it may go elsewhere
+	MayRun                        // it may have run, and the server has answered
+	NoReply                       // it may have run, or may yet: nothing is sent again
 )
 
 // State is what was told of a server.
-type State int
+type ServerState int
 
 // The states.
 const (
-	Ready State = iota
-	Leaving
+	Ready ServerState = iota
+	Draining
 	Gone
 )
 
 // Book holds what has happened. Its methods take the present time, which never goes
 // back; what breaks a rule is in Broken.
-type Book struct {
-	Broken []string
+type Checker struct {
+	Violations []string
 
-	terms    Terms
+	terms    Rules
 	now      time.Duration
 	listed   bool // some server was told of
 	requests map[string]*request
@@ -91,31 +91,31 @@
 }
 
 // NewBook returns an empty Book.
-func NewBook(t Terms) *Book {
-	return &Book{terms: t, requests: map[string]*request{}, servers: map[string]*server{}}
+func NewChecker(t Rules) *Checker {
+	return &Checker{terms: t, requests: map[string]*request{}, servers: map[string]*server{}}
 }
 
-func (b *Book) broken(rule int, format string, args ...any) {
-	b.Broken = append(b.Broken, fmt.Sprintf("rule %d at %v: ", rule, b.now)+fmt.Sprintf(format, args...))
+func (b *Checker) broken(rule int, format string, args ...any) {
+	b.Violations = append(b.Violations, fmt.Sprintf("rule %d at %v: ", rule, b.now)+fmt.Sprintf(format, args...))
 }
 
 // Retuned takes that other settings hold: so many attempts are allowed from now on.
-func (b *Book) Retuned(now time.Duration, attempts int) {
-	b.Pass(now)
-	b.terms.Attempts = attempts
+func (b *Checker) SettingsChanged(now time.Duration, attempts int) {
+	b.CheckDeadlines(now)
+	b.terms.MaxAttempts = attempts
 	b.look()
 }
 
 // Pass lets time pass, and looks for what it has made late.
-func (b *Book) Pass(now time.Duration) {
+func (b *Checker) CheckDeadlines(now time.Duration) {
 	b.now = max(b.now, now)
 	b.newProcesses()
 	b.look()
 	for _, q := range slices.Clone(b.open) {
 		switch {
-		case b.now > q.deadline+b.terms.Grace:
+		case b.now > q.deadline+b.terms.AnswerGrace:
 			b.broken(1, "%s has no answer %v after its client gave up", q.id, b.now-q.deadline)
-		case q.hopeless >= 0 && b.now > q.hopeless+b.terms.Prompt:
+		case q.hopeless >= 0 && b.now > q.hopeless+b.terms.PromptLimit:
 			b.broken(5, "%s waits since %v though nobody may be sent it", q.id, q.hopeless)
 		default:
 			continue
@@ -125,7 +125,7 @@
 }
 
 // Owed lists what still waits for its answer.
-func (b *Book) Owed() []string {
+func (b *Checker) Unanswered() []string {
 	ids := []string{}
 	for _, q := range b.open {
 		ids = append(ids, q.id)
--- a/internal/refmodel/scene_client_test.go
+++ b/internal/refmodel/scene_client_test.go
@@ -24,17 +24,17 @@
 }
 
 // repeats is what the book has to know of a class.
-func (s *scene) repeats(c balance.Class) refmodel.Repeats {
-	r := refmodel.Repeats{Never: c.Idempotency == balance.NonIdempotent}
+func (s *scene) repeats(c balance.Class) refmodel.Retries {
+	r := refmodel.Retries{Forbidden: c.Idempotency == balance.NonIdempotent}
 	if c.Idempotency != balance.IdempotencyKeyed {
 		return r
 	}
 	r.Within = c.KeyWindow
 	switch c.KeyScope { // where a server is never changes
 	case balance.ScopeZone:
-		r.Same = func(ran, to string) bool { return s.feeds[ran].entry.Zone == s.feeds[to].entry.Zone }
+		r.AllowedOn = func(ran, to string) bool { return s.feeds[ran].entry.Zone == s.feeds[to].entry.Zone }
 	case balance.ScopeCell:
-		r.Same = func(ran, to string) bool { return s.feeds[ran].entry.Cell == s.feeds[to].entry.Cell }
+		r.AllowedOn = func(ran, to string) bool { return s.feeds[ran].entry.Cell == s.feeds[to].entry.Cell }
 	}
 	return r
 }
@@ -52,14 +52,14 @@
 	wait := 200*ms + s.upTo(800*ms)
 	near, far := net.Pipe()
 	defer far.Close()
-	s.note(func(b *refmodel.Book, now time.Duration) { b.Asked(now, id, now+wait, s.repeats(class)) })
+	s.note(func(b *refmodel.Checker, now time.Duration) { b.RequestArrived(now, id, now+wait, s.repeats(class)) })
 	s.front <- &handle{Conn: near}
 	if _, err := fmt.Fprintf(far, "OPEN %s k c=%s,d=%d\r\n", id, class.Name, wait.Milliseconds()); err != nil {
 		s.t.Errorf("%s: %v", id, err)
 	}
 	if leaves {
 		gone := time.AfterFunc(s.upTo(100*ms), func() {
-			s.note(func(b *refmodel.Book, now time.Duration) { b.Left(now, id) })
+			s.note(func(b *refmodel.Checker, now time.Duration) { b.ClientLeft(now, id) })
 			far.Close()
 		})
 		defer gone.Stop()
@@ -105,8 +105,8 @@
 }
 
 func (s *scene) answered(id, class, how string, a refmodel.Answer) {
-	s.note(func(b *refmodel.Book, now time.Duration) {
-		b.Answered(now, id, a)
+	s.note(func(b *refmodel.Checker, now time.Duration) {
+		b.RequestAnswered(now, id, a)
 		s.over[how]++
 		s.byClass[class+how]++
 	})
--- a/internal/refmodel/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -126,9 +126,9 @@
 
 func (k sink) Listed(u discovery.Update) {
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
-		k.s.note(func(b *refmodel.Book, now time.Duration) {
+		k.s.note(func(b *refmodel.Checker, now time.Duration) {
 			for _, e := range u.Entries {
-				b.Told(now, e.ID, refmodel.State(e.State), 0)
+				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), 0)
 			}
 		})
 		k.n.hops.Update(u.Kind == balance.ListFull, u.Entries, time.Now())
--- a/internal/refmodel/scene_feed_test.go
+++ b/internal/refmodel/scene_feed_test.go
@@ -32,11 +32,11 @@
 }
 
 // over notes the attempt's end, once.
-func (a *attempt) over(how refmodel.End) {
-	a.s.note(func(b *refmodel.Book, now time.Duration) {
+func (a *attempt) over(how refmodel.AttemptOutcome) {
+	a.s.note(func(b *refmodel.Checker, now time.Duration) {
 		if a.id != "" && !a.done {
 			a.done = true
-			b.Ended(now, a.id, how)
+			b.AttemptEnded(now, a.id, how)
 		}
 	})
 }
@@ -92,10 +92,10 @@
 			}
 		case "OPEN":
 			id, _, _ := strings.Cut(rest, " ")
-			s.note(func(b *refmodel.Book, now time.Duration) {
+			s.note(func(b *refmodel.Checker, now time.Duration) {
 				a.id = id
 				s.sent++
-				b.Sent(now, id, server)
+				b.AttemptSent(now, id, server)
 			})
 			if !s.open(server, conn, a) {
 				return
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -15,16 +15,16 @@
 )
 
 func (s *scene) tell(kind balance.ListKind, entries ...discovery.Entry) {
-	s.note(func(b *refmodel.Book, now time.Duration) {
+	s.note(func(b *refmodel.Checker, now time.Duration) {
 		for _, e := range entries {
 			started := e.StartedAt
 			if started > 0 { // on the book's clock
 				started -= time.Duration(s.begun.UnixNano())
 			}
 			if s.kind == silent {
-				b.Changed(now, e.ID, refmodel.State(e.State), started)
+				b.ServerChanged(now, e.ID, refmodel.ServerState(e.State), started)
 			} else {
-				b.Told(now, e.ID, refmodel.State(e.State), started)
+				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), started)
 			}
 		}
 	})
@@ -81,7 +81,7 @@
 	s.mu.Unlock()
 	s.node.core.Retune(set)
 	synctest.Wait() // it is in force
-	s.note(func(b *refmodel.Book, now time.Duration) { b.Retuned(now, set.Limits.MaxAttempts) })
+	s.note(func(b *refmodel.Checker, now time.Duration) { b.SettingsChanged(now, set.Limits.MaxAttempts) })
 }
 
 // trouble changes one server's state: it drains, goes, comes back as it was or as a
--- a/internal/refmodel/scene_test.go
+++ b/internal/refmodel/scene_test.go
@@ -45,7 +45,7 @@
 	nodes []*node              // that are told of servers
 	up    map[string]time.Time // since when connections stand, by request
 	rng   *rand.Rand
-	book  *refmodel.Book
+	book  *refmodel.Checker
 	feeds map[string]*feed
 	ids   int
 	over  map[string]int // how requests were answered
@@ -90,7 +90,7 @@
 	return time.Duration(s.rng.Int64N(int64(d)/int64(ms)+1)) * ms // whole ones: much comes at one time
 }
 
-func (s *scene) note(f func(b *refmodel.Book, now time.Duration)) {
+func (s *scene) note(f func(b *refmodel.Checker, now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f(s.book, time.Since(s.begun))
@@ -118,8 +118,8 @@
 	s := &scene{t: t, begun: time.Now(), set: set, up: map[string]time.Time{}, front: make(chan net.Conn), rng: rand.New(rand.NewPCG(seed, 1)),
 		feeds: map[string]*feed{}, over: map[string]int{}, byClass: map[string]int{},
 		kind: k, room: fill,
-		book: refmodel.NewBook(refmodel.Terms{Attempts: 4, Drain: 300 * ms, Told: 6 * time.Second, Prompt: prompt, Tick: set.Tick, Ramp: 20 * time.Second,
-			ColdShare: 0.2, Rate: rate, Multiple: 3, Window: 1500 * ms, Chance: 3})}
+		book: refmodel.NewChecker(refmodel.Rules{MaxAttempts: 4, DrainGrace: 300 * ms, NotifyDelay: 6 * time.Second, PromptLimit: prompt, Tick: set.Tick, SlowStartDuration: 20 * time.Second,
+			SlowStartShare: 0.2, ServerRate: rate, OverloadMultiple: 3, OverloadWindow: 1500 * ms, ChanceAllowance: 3})}
 	s.board = board{s: s, watches: map[net.Conn]chan string{}}
 	s.count = &metrics.Registry{}
 	for _, c := range classes {
@@ -163,11 +163,11 @@
 		default:
 			s.trouble()
 		}
-		s.note((*refmodel.Book).Pass)
+		s.note((*refmodel.Checker).CheckDeadlines)
 	}
 	time.Sleep(3 * time.Second) // all that was asked is due by then
-	s.note((*refmodel.Book).Pass)
-	for _, id := range s.book.Owed() {
+	s.note((*refmodel.Checker).CheckDeadlines)
+	for _, id := range s.book.Unanswered() {
 		t.Errorf("%s was never answered", id)
 	}
 	s.ended.Wait()
@@ -198,7 +198,7 @@
 			t.Run(fmt.Sprint(name, " ", seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := play(t, seed, k)
-					for _, broken := range s.book.Broken {
+					for _, broken := range s.book.Violations {
 						t.Error(broken)
 					}
 					// What was counted is what clients and feed servers saw.
--- a/internal/scenario/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -53,7 +53,7 @@
 
 // scene is one run.
 type scene struct {
-	*testbed.World
+	*testbed.Testbed
 	tree  *tree
 	watch *watchers
 	log   *history
@@ -80,12 +80,12 @@
 	if err != nil {
 		return nil, err
 	}
-	w := testbed.Options{Scene: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
+	w := testbed.Options{Scenario: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
 		Mutation: o.Mutation, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operatorconfig.File) {
+	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(t.root.public())
 		f.Fleet.ReplicatedLog.Lease = operatorconfig.Duration{Duration: lease}
 	}
@@ -109,8 +109,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer built.End()
-	s := &scene{World: built, tree: t, log: &history{}, room: map[string]chan struct{}{}, stop: func() {}, faults: map[string][]span{}}
+	defer built.Close()
+	s := &scene{Testbed: built, tree: t, log: &history{}, room: map[string]chan struct{}{}, stop: func() {}, faults: map[string][]span{}}
 	for _, name := range s.Names {
 		s.room[name] = make(chan struct{}, 3)
 	}
@@ -125,7 +125,7 @@
 func (s *scene) run(ctx context.Context, chosen []string) error {
 	defer s.writers.Wait()
 	defer func() { s.stop() }()
-	err := s.Play(ctx, []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
+	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
 		{Name: "oneway", Do: s.oneWay}, {Name: "apart", Do: s.apart}, {Name: "disk", Do: s.disk}, {Name: "stall", Do: s.stall},
 		{Name: "many", Do: s.many}}, chosen)
 	if err != nil {
@@ -166,11 +166,11 @@
 
 // agree heals all and waits until all members hold the same.
 func (s *scene) agree(ctx context.Context) {
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	took, came := testbed.Await(ctx, oneMost, func() bool { return s.watch.asOne(s.Names) })
-	s.Set("as_one_again_ms", float64(took.Milliseconds()))
+	s.SetMetric("as_one_again_ms", float64(took.Milliseconds()))
 	if !came && ctx.Err() == nil {
-		s.Broken("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", oneMost, s.watch.say()))
+		s.AddViolation("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", oneMost, s.watch.say()))
 	}
 	// Trees are asked for after states: the last ones have to come, too.
 	testbed.Await(ctx, time.Second, func() bool { return s.watch.read(s.Names) })
--- a/internal/scenario/accounts/faults.go
+++ b/internal/scenario/accounts/faults.go
@@ -40,7 +40,7 @@
 	s.mu.Lock()
 	s.lost = append(s.lost, time.Now())
 	s.mu.Unlock()
-	s.Add("leaders_lost", 1)
+	s.AddMetric("leaders_lost", 1)
 	return name, ctx.Err()
 }
 
@@ -64,17 +64,17 @@
 // back waits until an agent follows again, and has its vote if it had one.
 func (s *scene) back(ctx context.Context, step, name string) {
 	most := backMost
-	if s.Get("not_back") > 0 { // it is broken already, and the verdict can come
+	if s.Metric("not_back") > 0 { // it is broken already, and the verdict can come
 		most = time.Second
 	}
 	took, came := testbed.Await(ctx, most, func() bool {
 		l, up := s.watch.now(name)
 		return up && l.Fresh && (l.Role == "follower" || l.Role == "voter" || l.Role == "leader")
 	})
-	s.Set(step+"_back_ms", max(s.Get(step+"_back_ms"), float64(took.Milliseconds())))
+	s.SetMetric(step+"_back_ms", max(s.Metric(step+"_back_ms"), float64(took.Milliseconds())))
 	if !came && ctx.Err() == nil {
-		s.Add("not_back", 1)
-		s.Broken("back", fmt.Sprintf("%s: %s does not follow again after %v: %s", step, name, most, s.watch.say()))
+		s.AddMetric("not_back", 1)
+		s.AddViolation("back", fmt.Sprintf("%s: %s does not follow again after %v: %s", step, name, most, s.watch.say()))
 	}
 }
 
@@ -102,19 +102,19 @@
 	name := s.watch.leader()
 	deaf := s.other(rng, true, name)
 	s.spoiled(deaf)
-	s.Relay.Set(name, deaf, cut)
+	s.Proxy.Set(name, deaf, cut)
 	fake.Sleep(ctx, 1500*time.Millisecond)
 	s.mended(deaf)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.back(ctx, "oneway", deaf)
 	name, err := s.head(ctx)
 	if err != nil {
 		return err
 	}
-	s.Relay.OneWay(s.rest(name), []string{name}, cut)
+	s.Proxy.SetOneWay(s.rest(name), []string{name}, cut)
 	fake.Sleep(ctx, 2*time.Second)
 	s.mended(name)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.back(ctx, "oneway", name)
 	return nil
 }
@@ -124,19 +124,19 @@
 func (s *scene) apart(ctx context.Context, rng *mrand.Rand) error {
 	lone := s.other(rng, false)
 	s.spoiled(lone)
-	s.Relay.Between([]string{lone}, s.rest(lone), cut)
+	s.Proxy.SetBetween([]string{lone}, s.rest(lone), cut)
 	fake.Sleep(ctx, lease+1200*time.Millisecond)
 	if l, up := s.watch.now(lone); up && l.Fresh && l.State.Index < s.committed(time.Now().Add(-lease-200*time.Millisecond)) {
-		s.Broken("fresh", fmt.Sprintf("%s says that its word is fresh, %v after it was cut off", lone, lease+1200*time.Millisecond))
+		s.AddViolation("fresh", fmt.Sprintf("%s says that its word is fresh, %v after it was cut off", lone, lease+1200*time.Millisecond))
 	}
 	s.mended(lone)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.back(ctx, "apart", lone)
 	name, err := s.head(ctx)
 	if err != nil {
 		return err
 	}
-	s.Relay.Between([]string{name}, s.rest(name), cut)
+	s.Proxy.SetBetween([]string{name}, s.rest(name), cut)
 	for i, t := range s.tree.admins {
 		base, _ := s.watch.tree(name)
 		w := &writer{team: t, rng: rng}
@@ -146,7 +146,7 @@
 	}
 	fake.Sleep(ctx, 2*time.Second)
 	s.mended(name)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.back(ctx, "apart", name)
 	return nil
 }
@@ -162,7 +162,7 @@
 	}
 	fake.Sleep(ctx, 2500*time.Millisecond)
 	if l, up := s.watch.now(name); !up || l.Disk == "" || l.Role == "leader" {
-		s.Broken("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.Disk))
+		s.AddViolation("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.Disk))
 	}
 	s.mended(name)
 	if err := s.Agents[name].Disk(false); err != nil {
@@ -183,10 +183,10 @@
 		} else {
 			name = lead
 		}
-		s.Agents[name].Stop()
+		s.Agents[name].Pause()
 		fake.Sleep(ctx, 2200*time.Millisecond)
 		s.mended(name)
-		s.Agents[name].Cont()
+		s.Agents[name].Resume()
 		s.back(ctx, "stall", name)
 	}
 	return nil
@@ -204,8 +204,8 @@
 	s.spoiled(deaf)
 	s.spoiled(slow)
 	s.Agents[name].Kill()
-	s.Relay.OneWay(s.rest(deaf), []string{deaf}, cut)
-	s.Agents[slow].Stop()
+	s.Proxy.SetOneWay(s.rest(deaf), []string{deaf}, cut)
+	s.Agents[slow].Pause()
 	fake.Sleep(ctx, 2*time.Second)
 	all := []string{name, deaf, slow}
 	for _, one := range all {
@@ -214,8 +214,8 @@
 	if err := s.Agents[name].Start(); err != nil {
 		return err
 	}
-	s.Agents[slow].Cont()
-	s.Relay.Heal()
+	s.Agents[slow].Resume()
+	s.Proxy.Heal()
 	for _, one := range all {
 		s.back(ctx, "many", one)
 	}
--- a/internal/scenario/accounts/judge.go
+++ b/internal/scenario/accounts/judge.go
@@ -25,17 +25,17 @@
 	if states := s.ordered(ops); states != nil {
 		s.same(states)
 	}
-	s.Least("taken", 60)
+	s.RequireAtLeast("taken", 60)
 	if whole {
 		for figure, least := range map[string]float64{"taken": 250, "refused": 150, "leaders_lost": 6, "lines_revoked": 5, "tried_" + ruleParent: 5,
 			"tried_" + ruleSubtree: 8, "tried_" + ruleHalf: 8, "tried_" + ruleTwice: 5, "races": 8, "answers_lost": 1, "trees_seen_share": 0.5} {
-			s.Least(figure, least)
+			s.RequireAtLeast(figure, least)
 		}
 	}
 	share, all := s.Served(time.Now().Add(learning-s.Since()), time.Now())
-	s.Set("served_beside_it", share)
+	s.SetMetric("served_beside_it", share)
 	if all > 0 && share < 0.9 {
-		s.Broken("served", fmt.Sprintf("%.3f of %d transactions were served beside it, want 0.9 at least", share, all))
+		s.AddViolation("served", fmt.Sprintf("%.3f of %d transactions were served beside it, want 0.9 at least", share, all))
 	}
 }
 
@@ -44,37 +44,37 @@
 	at := map[uint64]*op{}
 	keys := map[string]uint64{}
 	for _, l := range s.log.lines {
-		s.Add("lines_revoked", 1)
+		s.AddMetric("lines_revoked", 1)
 		for _, k := range l.keys {
 			keys[k] = l.revoked
 		}
 	}
 	for _, o := range ops {
-		s.Add(map[int]string{unknown: "answers_lost", absent: "not_proposed", decided: map[bool]string{true: "taken", false: "refused"}[o.out.Accepted]}[o.end], 1)
+		s.AddMetric(map[int]string{unknown: "answers_lost", absent: "not_proposed", decided: map[bool]string{true: "taken", false: "refused"}[o.out.Accepted]}[o.end], 1)
 		if o.never != "" {
-			s.Add("tried_"+o.never, 1)
+			s.AddMetric("tried_"+o.never, 1)
 		}
 		if o.end != decided || o.out.Index == 0 {
 			if o.taken() {
-				s.Broken("answer", "taken at no index: "+o.String())
+				s.AddViolation("answer", "taken at no index: "+o.String())
 			}
 			continue
 		}
 		if one := at[o.out.Index]; one != nil {
-			s.Broken("index", fmt.Sprintf("two entries at index %d: %v and %v", o.out.Index, one, o))
+			s.AddViolation("index", fmt.Sprintf("two entries at index %d: %v and %v", o.out.Index, one, o))
 		}
 		at[o.out.Index] = o
 		if o.taken() && o.never != "" {
-			s.Broken(o.never, "taken: "+o.String())
+			s.AddViolation(o.never, "taken: "+o.String())
 		}
 		if gone, ok := keys[o.entry.KeyName]; ok && o.taken() && o.out.Index > gone {
-			s.Broken("revoked", fmt.Sprintf("revoked at %d, taken: %v", gone, o))
+			s.AddViolation("revoked", fmt.Sprintf("revoked at %d, taken: %v", gone, o))
 		}
 	}
 	for _, pair := range s.log.races {
-		s.Add("races", 1)
+		s.AddMetric("races", 1)
 		if pair[0].taken() && pair[1].taken() {
-			s.Broken("compared", fmt.Sprintf("two on one base were both taken: %v and %v", pair[0], pair[1]))
+			s.AddViolation("compared", fmt.Sprintf("two on one base were both taken: %v and %v", pair[0], pair[1]))
 		}
 	}
 }
@@ -89,22 +89,22 @@
 		list := s.watch.sights[index]
 		last = index
 		if len(list) > 1 {
-			s.Broken("same", fmt.Sprintf("at index %d %s holds another state than %s: hashes %.8x and %.8x", index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash))
+			s.AddViolation("same", fmt.Sprintf("at index %d %s holds another state than %s: hashes %.8x and %.8x", index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash))
 		}
 		for _, one := range list {
 			t := one.state.Accounts
 			if err := t.Check(); err != nil {
-				s.Broken("tree", fmt.Sprintf("%s at index %d: %v", one.agent, index, err))
+				s.AddViolation("tree", fmt.Sprintf("%s at index %d: %v", one.agent, index, err))
 			}
 			for _, r := range t.Routes {
 				if r.Name == neverThere {
-					s.Broken(ruleHalf, fmt.Sprintf("%s at index %d has route %q", one.agent, index, r.Path()))
+					s.AddViolation(ruleHalf, fmt.Sprintf("%s at index %d has route %q", one.agent, index, r.Path()))
 				}
 			}
 		}
 	}
-	s.Set("entries", float64(last))
-	s.Set("trees_seen_share", float64(len(s.watch.sights))/float64(max(last, 1)))
+	s.SetMetric("entries", float64(last))
+	s.SetMetric("trees_seen_share", float64(len(s.watch.sights))/float64(max(last, 1)))
 }
 
 // told are the hashes that members told, by index. Who told another than the first is wrong.
@@ -121,7 +121,7 @@
 			}
 			at = l.Index
 			if one, ok := all[at]; ok && one != h {
-				s.Broken("hash", fmt.Sprintf("at index %d %s has %.8s, %s has %.8x", at, name, l.Hash, who[at], one[:]))
+				s.AddViolation("hash", fmt.Sprintf("at index %d %s has %.8s, %s has %.8x", at, name, l.Hash, who[at], one[:]))
 				continue
 			}
 			all[at], who[at] = h, name
@@ -140,20 +140,20 @@
 	s.watch.mu.Unlock()
 	first, err := logentry.NewState(genesis)
 	if err != nil {
-		s.Broken("history", err.Error())
+		s.AddViolation("history", err.Error())
 		return nil
 	}
 	m, begun := newModel(first, ops, hashes), time.Now()
 	verdict := m.check(first, ops, hashes[final.Index], judging)
-	s.Set("history_checked_ms", float64(time.Since(begun).Milliseconds()))
-	s.Set("history_operations", float64(len(ops)))
+	s.SetMetric("history_checked_ms", float64(time.Since(begun).Milliseconds()))
+	s.SetMetric("history_operations", float64(len(ops)))
 	switch verdict {
 	case porcupine.Ok:
 		return m.states
 	case porcupine.Illegal:
-		s.Broken("history", fmt.Sprintf("%d proposals fit no order that agrees with time, with versions and with what members hold at the end", len(ops)))
+		s.AddViolation("history", fmt.Sprintf("%d proposals fit no order that agrees with time, with versions and with what members hold at the end", len(ops)))
 	default:
-		s.Broken("history", fmt.Sprintf("no order of %d proposals was found within %v", len(ops), judging))
+		s.AddViolation("history", fmt.Sprintf("no order of %d proposals was found within %v", len(ops), judging))
 	}
 	return nil
 }
@@ -166,11 +166,11 @@
 		for _, one := range list {
 			want := states[one.state.Hash]
 			if want == nil {
-				s.Broken("log", fmt.Sprintf("%s at index %d: its chain is none of what was proposed", one.agent, index))
+				s.AddViolation("log", fmt.Sprintf("%s at index %d: its chain is none of what was proposed", one.agent, index))
 				continue
 			}
 			if raw, err := json.Marshal(want); err != nil || sha256.Sum256(raw) != one.sum {
-				s.Broken("log", fmt.Sprintf("%s at index %d holds what the entries do not add up to (%v)", one.agent, index, err))
+				s.AddViolation("log", fmt.Sprintf("%s at index %d holds what the entries do not add up to (%v)", one.agent, index, err))
 			}
 		}
 	}
--- a/internal/scenario/accounts/propose.go
+++ b/internal/scenario/accounts/propose.go
@@ -80,7 +80,7 @@
 	var answer struct {
 		Outcome logentry.Outcome `json:"outcome"`
 	}
-	err = s.Agents[to].Ask(agentapi.Ask{Ask: "propose", Entry: raw}, &answer)
+	err = s.Agents[to].Call(agentapi.Ask{Ask: "propose", Entry: raw}, &answer)
 	o.ret = time.Now()
 	<-s.room[to]
 	var no *agentapi.Refusal
--- a/internal/scenario/accounts/times.go
+++ b/internal/scenario/accounts/times.go
@@ -66,12 +66,12 @@
 		for i, l := range list {
 			told := fmt.Sprintf("%s, %v after the start: index %d, fresh %v, word of %d ms ago", name, time.Duration(l.asked.Sub(list[0].asked)).Round(inMs), l.Index, l.Fresh, l.Heard)
 			if i > 0 && l.Index < list[i-1].Index && !s.restarted(name, list[i-1].heard, l.heard) {
-				s.Broken("falls", fmt.Sprintf("%s; it was %d before", told, list[i-1].Index))
+				s.AddViolation("falls", fmt.Sprintf("%s; it was %d before", told, list[i-1].Index))
 			}
 			if call, ok := calls[l.Index]; ok && call.After(l.heard) {
-				s.Broken("ahead", told+", which was not proposed yet")
+				s.AddViolation("ahead", told+", which was not proposed yet")
 			}
-			s.behind(l, a, func(why string) { s.Broken("stale", told+"; "+why) })
+			s.behind(l, a, func(why string) { s.AddViolation("stale", told+"; "+why) })
 		}
 	}
 }
@@ -128,7 +128,7 @@
 			}
 		}
 		if gap := next.Sub(at); next.IsZero() || gap > lostMost {
-			s.Broken("leader", fmt.Sprintf("lost %v before the end of the scene, the next change was taken %v later, at most %v are allowed", time.Since(at).Round(inMs), gap.Round(inMs), lostMost))
+			s.AddViolation("leader", fmt.Sprintf("lost %v before the end of the scene, the next change was taken %v later, at most %v are allowed", time.Since(at).Round(inMs), gap.Round(inMs), lostMost))
 		} else {
 			gaps = append(gaps, gap)
 		}
@@ -145,6 +145,6 @@
 		name string
 		part float64
 	}{{"p50", 0.5}, {"p99", 0.99}, {"max", 1}} {
-		s.Set(what+"_ms_"+q.name, float64(list[min(len(list)-1, int(q.part*float64(len(list))))].Microseconds())/1000)
+		s.SetMetric(what+"_ms_"+q.name, float64(list[min(len(list)-1, int(q.part*float64(len(list))))].Microseconds())/1000)
 	}
 }
--- a/internal/scenario/accounts/watch.go
+++ b/internal/scenario/accounts/watch.go
@@ -65,7 +65,7 @@
 // look asks one agent how it stands, and what it holds where that is news.
 func (w *watchers) look(name string, a *testbed.Agent) {
 	l := look{asked: time.Now()}
-	err := a.Ask(agentapi.Ask{Ask: "state"}, &l.State)
+	err := a.Call(agentapi.Ask{Ask: "state"}, &l.State)
 	l.heard = time.Now()
 	w.mu.Lock()
 	w.up[name] = err == nil
@@ -79,7 +79,7 @@
 	}
 	var raw json.RawMessage
 	state := &logentry.State{}
-	if a.Ask(agentapi.Ask{Ask: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
+	if a.Call(agentapi.Ask{Ask: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
 		return // it has just gone
 	}
 	s := &sight{name, state, sha256.Sum256(raw), time.Now()}
@@ -113,7 +113,7 @@
 
 // await waits until an agent is seen to hold an entry.
 func (w *watchers) await(ctx context.Context, name string, index uint64) bool {
-	return testbed.WhenIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
+	return testbed.AfterIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
 }
 
 // leader is who leads the record and says so itself; empty for nobody.
--- a/internal/scenario/accounts/writer.go
+++ b/internal/scenario/accounts/writer.go
@@ -63,7 +63,7 @@
 		n := w.rng.IntN(all)
 		for _, m := range fit {
 			if n -= m.part; n < 0 {
-				w.scene.Add("moves_"+m.name, 1)
+				w.scene.AddMetric("moves_"+m.name, 1)
 				m.do(w, ctx)
 				break
 			}
--- a/internal/scenario/demo.go
+++ b/internal/scenario/demo.go
@@ -27,9 +27,9 @@
 func (q quiet) Opened(fake.Opened)   {}
 func (q quiet) Started(fake.Started) {}
 func (q quiet) Answered(_, answer string, _ bool, _ time.Duration) {
-	q.Add(answer, 1)
+	q.AddMetric(answer, 1)
 }
-func (q quiet) Moved(string, string, string)                               { q.Add("moved", 1) }
+func (q quiet) Moved(string, string, string)                               { q.AddMetric("moved", 1) }
 func (q quiet) Streaming(string, bool, bool, time.Duration, time.Duration) {}
 
 // Demo shows a node at work: four feed servers, one of which drains half way.
@@ -41,7 +41,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	seen := quiet{testbed.NewResult("demo", 1)}
-	feed, roster := fake.NewFeed(10, 10, 1), fake.NewRoster()
+	feed, roster := fake.NewFeed(10, 10, 1), fake.NewDiscovery()
 	defer roster.Close()
 	discovery, err := roster.Listen("n0")
 	if err != nil {
@@ -49,7 +49,7 @@
 	}
 	var list []*fake.Server
 	for i := range servers {
-		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: feed, Witness: seen,
+		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: feed, Observer: seen,
 			History: 100, Capacity: 2 * clients / servers})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
@@ -67,14 +67,14 @@
 		return err
 	}
 	nodes := testbed.Nodes{n}
-	defer nodes.End()
+	defer nodes.Terminate()
 	running, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	for i := range clients {
 		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: testbed.Patience,
-			Front: nodes, Diary: seen, Plain: true}
+			Nodes: nodes, Observer: seen, WithoutResumption: true}
 		c.Seed(1, uint64(i))
 		wg.Go(func() {
 			fake.Sleep(running, time.Duration(i)*50*time.Millisecond) // they come one after another
@@ -90,12 +90,12 @@
 		}
 		fmt.Fprintf(o.Out, "%3d s", second)
 		for _, v := range list {
-			fmt.Fprintf(o.Out, "  %s %-24s", v.Name, strings.Repeat("#", v.Held()))
+			fmt.Fprintf(o.Out, "  %s %-24s", v.Name, strings.Repeat("#", v.OpenConnections()))
 		}
 		fmt.Fprintln(o.Out)
 	}
-	fmt.Fprintf(o.Out, "%g connections placed, %g busy answers, %g moved, node at %.1f MB\n", seen.Get("UP"), seen.Get("BUSY"),
-		seen.Get("moved"), n.Resident()/1e6)
+	fmt.Fprintf(o.Out, "%g connections placed, %g busy answers, %g moved, node at %.1f MB\n", seen.Metric("UP"), seen.Metric("BUSY"),
+		seen.Metric("moved"), n.Resident()/1e6)
 	if len(seen.Violations) > 0 {
 		return seen.Finish(o.Out, "")
 	}
--- a/internal/scenario/faultproxy/datagrams.go
+++ b/internal/scenario/faultproxy/datagrams.go
@@ -9,7 +9,7 @@
 const late = 4096
 
 // datagrams passes on what comes for a party.
-func (r *Relay) datagrams(d *door, to *net.UDPAddr) {
+func (r *Proxy) datagrams(d *door, to *net.UDPAddr) {
 	buf := make([]byte, 64<<10)
 	for {
 		n, addr, err := d.udp.ReadFromUDPAddrPort(buf)
@@ -42,7 +42,7 @@
 }
 
 // hold counts datagrams that are held back, and tells whether there is room for n more.
-func (r *Relay) hold(n int) bool {
+func (r *Proxy) hold(n int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.held+n > late {
--- a/internal/scenario/faultproxy/fault.go
+++ b/internal/scenario/faultproxy/fault.go
@@ -15,23 +15,23 @@
 
 // Fault is what befalls what one party says to another. Its zero value is none.
 type Fault struct {
-	Cut    bool          // nothing arrives, and nobody is told
-	Delay  time.Duration // everything is late by so much
-	Jitter time.Duration // and by up to so much more: datagrams may overtake one another
-	Drop   float64       // of datagrams; a stream is held up instead, as by a resend
-	Twice  float64       // of datagrams arrive twice
+	Cut       bool          // nothing arrives, and nobody is told
+	Delay     time.Duration // everything is late by so much
+	Jitter    time.Duration // and by up to so much more: datagrams may overtake one another
+	Drop      float64       // of datagrams; a stream is held up instead, as by a resend
+	Duplicate float64       // of datagrams arrive twice
 }
 
 // with returns what befalls where two faults meet.
 func (f Fault) with(g Fault) Fault {
-	return Fault{f.Cut || g.Cut, f.Delay + g.Delay, f.Jitter + g.Jitter, max(f.Drop, g.Drop), max(f.Twice, g.Twice)}
+	return Fault{f.Cut || g.Cut, f.Delay + g.Delay, f.Jitter + g.Jitter, max(f.Drop, g.Drop), max(f.Duplicate, g.Duplicate)}
 }
 
 // resend is how long what was lost on a stream takes to come again.
 const resend = 200 * time.Millisecond
 
 // Relay stands between parties.
-type Relay struct {
+type Proxy struct {
 	seed   uint64
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -49,14 +49,14 @@
 
 // New returns a relay without parties. What it drops follows from the seed and from the
 // order in which each party's datagrams come.
-func New(seed uint64) *Relay {
+func New(seed uint64) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Relay{seed: seed, ctx: ctx, cancel: cancel, parties: map[string]*party{}, byIP: map[netip.Addr]string{},
+	return &Proxy{seed: seed, ctx: ctx, cancel: cancel, parties: map[string]*party{}, byIP: map[netip.Addr]string{},
 		faults: map[[2]string]Fault{}, zones: map[[2]string]Fault{}, rngs: map[[2]string]*rand.Rand{}, changed: make(chan struct{})}
 }
 
 // Set puts a fault on what one party says to another; a zero Fault takes it away.
-func (r *Relay) Set(from, to string, f Fault) {
+func (r *Proxy) Set(from, to string, f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults[[2]string{from, to}] = f
@@ -65,7 +65,7 @@
 
 // Zones puts a fault on all that parties of one zone say to those of another, one way. It
 // adds to what Set says of two of them; a zero Fault takes it away.
-func (r *Relay) Zones(from, to string, f Fault) {
+func (r *Proxy) SetBetweenZones(from, to string, f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.zones[[2]string{from, to}] = f
@@ -73,13 +73,13 @@
 }
 
 // Between puts a fault on all that passes between two sides, both ways.
-func (r *Relay) Between(one, other []string, f Fault) {
-	r.OneWay(one, other, f)
-	r.OneWay(other, one, f)
+func (r *Proxy) SetBetween(one, other []string, f Fault) {
+	r.SetOneWay(one, other, f)
+	r.SetOneWay(other, one, f)
 }
 
 // OneWay puts a fault on all that one side says to the other.
-func (r *Relay) OneWay(from, to []string, f Fault) {
+func (r *Proxy) SetOneWay(from, to []string, f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range from {
@@ -91,7 +91,7 @@
 }
 
 // Heal takes all faults away. Streams that were cut end: what was lost of them is lost.
-func (r *Relay) Heal() {
+func (r *Proxy) Heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.faults)
@@ -100,24 +100,24 @@
 }
 
 // news wakes whoever is held up by a fault.
-func (r *Relay) news() {
+func (r *Proxy) news() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
 // Close ends the relay and all that passes through it.
-func (r *Relay) Close() {
+func (r *Proxy) Close() {
 	r.cancel()
 	r.wg.Wait()
 }
 
 // between is the fault on what one party says to another; the lock is held.
-func (r *Relay) between(from, to string) Fault {
+func (r *Proxy) between(from, to string) Fault {
 	return r.faults[[2]string{from, to}].with(r.zones[[2]string{r.parties[from].zone, r.parties[to].zone}])
 }
 
 // fate draws what becomes of n bytes: how often they arrive and how late.
-func (r *Relay) fate(from, to string, n int, datagram bool) (copies int, delay time.Duration) {
+func (r *Proxy) fate(from, to string, n int, datagram bool) (copies int, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pair := [2]string{from, to}
@@ -131,7 +131,7 @@
 		r.rngs[pair] = rng
 	}
 	// Both are drawn always: a fault that is put on or off leaves the others' draws alone.
-	drop, twice, jitter := rng.Float64() < f.Drop, rng.Float64() < f.Twice, rng.Float64()
+	drop, twice, jitter := rng.Float64() < f.Drop, rng.Float64() < f.Duplicate, rng.Float64()
 	copies, delay = 1, f.Delay+time.Duration(jitter*float64(f.Jitter))
 	switch {
 	case f.Cut:
@@ -152,7 +152,7 @@
 }
 
 // cut tells whether nothing passes from one party to another, and when to look again.
-func (r *Relay) cut(from, to string) (bool, <-chan struct{}) {
+func (r *Proxy) cut(from, to string) (bool, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.between(from, to).Cut, r.changed
@@ -160,7 +160,7 @@
 
 // wait waits while nothing passes from one party to another; held tells whether it had to.
 // It is false where ctx ended first.
-func (r *Relay) wait(ctx context.Context, from, to string) (held, ok bool) {
+func (r *Proxy) wait(ctx context.Context, from, to string) (held, ok bool) {
 	for {
 		cut, changed := r.cut(from, to)
 		if !cut {
--- a/internal/scenario/faultproxy/fault_test.go
+++ b/internal/scenario/faultproxy/fault_test.go
@@ -10,7 +10,7 @@
 
 // ends are two parties, one that speaks and one that listens.
 type ends struct {
-	r      *Relay
+	r      *Proxy
 	to     string       // where the listener is reached
 	ear    *net.UDPConn // its datagrams
 	mouth  *net.UDPConn
@@ -53,11 +53,11 @@
 	}
 	e.r.Set("mouth", "ear", f)
 	for i := range n {
-		before, _ := e.r.Said("mouth")
+		before, _ := e.r.Transferred("mouth")
 		if _, err := e.mouth.WriteToUDP([]byte(fmt.Sprintf("%4d", i)), to); err != nil {
 			t.Fatal(err)
 		}
-		for said := before; said == before; said, _ = e.r.Said("mouth") { // the relay has it
+		for said := before; said == before; said, _ = e.r.Transferred("mouth") { // the relay has it
 			runtime.Gosched()
 		}
 	}
@@ -91,7 +91,7 @@
 		{"no fault", Fault{}, 100, 100},
 		{"cut", Fault{Cut: true}, 0, 0},
 		{"half dropped", Fault{Drop: 0.5}, 30, 70},
-		{"all twice", Fault{Twice: 1}, 200, 200},
+		{"all twice", Fault{Duplicate: 1}, 200, 200},
 	} {
 		var first map[string]int
 		for range 2 { // the same seed, the same fate
--- a/internal/scenario/faultproxy/party.go
+++ b/internal/scenario/faultproxy/party.go
@@ -30,7 +30,7 @@
 }
 
 // party returns who has a name; the lock is held.
-func (r *Relay) party(name string) *party {
+func (r *Proxy) party(name string) *party {
 	p := r.parties[name]
 	if p == nil {
 		p = &party{name: name}
@@ -40,7 +40,7 @@
 }
 
 // Place says in which zone a party is.
-func (r *Relay) Place(name, zone string) {
+func (r *Proxy) SetZone(name, zone string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.party(name).zone = zone
@@ -49,7 +49,7 @@
 // Add takes a party that listens at an address, TCP and UDP, and speaks from its IP. It
 // returns the address at which the others reach it: at is an IP, the port is the system's
 // choice. A party may listen at several addresses of one IP.
-func (r *Relay) Add(name, listens, at string) (string, error) {
+func (r *Proxy) Add(name, listens, at string) (string, error) {
 	to, err := netip.ParseAddrPort(listens)
 	if err != nil {
 		return "", fmt.Errorf("party %s: %w", name, err)
@@ -74,7 +74,7 @@
 
 // AddFor takes a party that listens for streams, and returns the address at which one
 // speaker reaches it: who comes there is he, wherever he speaks from.
-func (r *Relay) AddFor(speaker, name, listens, at string) (string, error) {
+func (r *Proxy) AddFor(speaker, name, listens, at string) (string, error) {
 	d, err := r.open(name, speaker, listens, at)
 	if err != nil {
 		return "", err
@@ -84,7 +84,7 @@
 }
 
 // open makes a door whose streams nobody takes yet.
-func (r *Relay) open(name, speaker, listens, at string) (*door, error) {
+func (r *Proxy) open(name, speaker, listens, at string) (*door, error) {
 	tcp, err := net.Listen("tcp", net.JoinHostPort(at, "0"))
 	if err != nil {
 		return nil, fmt.Errorf("party %s: %w", name, err)
@@ -101,7 +101,7 @@
 }
 
 // admit takes a door's streams until its listener is closed.
-func (r *Relay) admit(d *door) {
+func (r *Proxy) admit(d *door) {
 	l := d.tcp
 	context.AfterFunc(r.ctx, func() { _ = l.Close() })
 	r.wg.Go(func() { r.accept(d, l) })
@@ -109,7 +109,7 @@
 
 // Down says that a party's process is gone or back: while it is gone, connections to it are
 // refused, as its machine would refuse them, and not taken and then ended.
-func (r *Relay) Down(name string, gone bool) error {
+func (r *Proxy) SetDown(name string, gone bool) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.party(name)
@@ -131,7 +131,7 @@
 }
 
 // Said is how many bytes a party has sent, and how many of its datagrams were dropped.
-func (r *Relay) Said(name string) (bytes, lost uint64) {
+func (r *Proxy) Transferred(name string) (bytes, lost uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.parties[name]; p != nil {
@@ -141,7 +141,7 @@
 }
 
 // speaker names who speaks from an address.
-func (r *Relay) speaker(a netip.Addr) (string, bool) {
+func (r *Proxy) speaker(a netip.Addr) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name, ok := r.byIP[a.Unmap()]
--- a/internal/scenario/faultproxy/streams.go
+++ b/internal/scenario/faultproxy/streams.go
@@ -18,7 +18,7 @@
 	chunk    = 16 << 10
 )
 
-func (r *Relay) accept(d *door, l net.Listener) {
+func (r *Proxy) accept(d *door, l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -49,7 +49,7 @@
 // answered the caller by now, as nobody can keep it from that; what a cut takes away is all
 // that would come after. A caller sees his connection made and then silence: the patience of
 // a first line or a probe runs out, never that of a connect.
-func (r *Relay) stream(conn net.Conn, from string, d *door) {
+func (r *Proxy) stream(conn net.Conn, from string, d *door) {
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	end := func(c net.Conn) { // as it ended on the other side: not as if all had been said
@@ -86,7 +86,7 @@
 // made waits as a connection waits that is being made: its first segment goes one way and
 // the answer the other, so that a cut of either holds it up. It is false where a cut did, and
 // has healed: who waited so long has given up.
-func (r *Relay) made(ctx context.Context, from, to string) bool {
+func (r *Proxy) made(ctx context.Context, from, to string) bool {
 	for _, pair := range [][2]string{{from, to}, {to, from}} {
 		if held, ok := r.wait(ctx, pair[0], pair[1]); held || !ok {
 			return false
@@ -112,7 +112,7 @@
 
 // carry copies one direction until it ends, and tells the other end so; it is false where
 // the stream broke.
-func (r *Relay) carry(ctx context.Context, w way) bool {
+func (r *Proxy) carry(ctx context.Context, w way) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	pieces := make(chan piece, underWay)
 	read := make(chan bool, 1)
@@ -129,7 +129,7 @@
 }
 
 // read takes what comes, each piece with the time at which it is due, in its order.
-func (r *Relay) read(ctx context.Context, w way, pieces chan<- piece) bool {
+func (r *Proxy) read(ctx context.Context, w way, pieces chan<- piece) bool {
 	var due time.Time // of the piece before
 	for {
 		buf := make([]byte, chunk)
--- a/internal/scenario/faultproxy/streams_test.go
+++ b/internal/scenario/faultproxy/streams_test.go
@@ -53,27 +53,27 @@
 	silent := os.ErrDeadlineExceeded
 	for _, tt := range []struct {
 		name         string
-		fault        func(r *Relay)
+		fault        func(r *Proxy)
 		fresh        error // of a new stream, nil for an answer
 		stands       error // of one that stood before
 		heard        bool  // what it says all the same
 		least, below time.Duration
 	}{
-		{"no fault", func(*Relay) {}, nil, nil, true, 0, soon},
-		{"cut both ways", func(r *Relay) { r.Between([]string{"mouth"}, []string{"ear"}, Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"cut there", func(r *Relay) { r.Set("mouth", "ear", Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"cut back", func(r *Relay) { r.Set("ear", "mouth", Fault{Cut: true}) }, silent, silent, true, 0, soon},
-		{"zones cut", func(r *Relay) { r.Zones("a", "b", Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"another pair of zones cut", func(r *Relay) { r.Zones("b", "b", Fault{Cut: true}) }, nil, nil, true, 0, soon},
-		{"delays add", func(r *Relay) {
-			r.Zones("a", "b", Fault{Delay: 30 * time.Millisecond})
+		{"no fault", func(*Proxy) {}, nil, nil, true, 0, soon},
+		{"cut both ways", func(r *Proxy) { r.SetBetween([]string{"mouth"}, []string{"ear"}, Fault{Cut: true}) }, silent, silent, false, 0, soon},
+		{"cut there", func(r *Proxy) { r.Set("mouth", "ear", Fault{Cut: true}) }, silent, silent, false, 0, soon},
+		{"cut back", func(r *Proxy) { r.Set("ear", "mouth", Fault{Cut: true}) }, silent, silent, true, 0, soon},
+		{"zones cut", func(r *Proxy) { r.SetBetweenZones("a", "b", Fault{Cut: true}) }, silent, silent, false, 0, soon},
+		{"another pair of zones cut", func(r *Proxy) { r.SetBetweenZones("b", "b", Fault{Cut: true}) }, nil, nil, true, 0, soon},
+		{"delays add", func(r *Proxy) {
+			r.SetBetweenZones("a", "b", Fault{Delay: 30 * time.Millisecond})
 			r.Set("mouth", "ear", Fault{Delay: 20 * time.Millisecond})
-			r.Zones("b", "a", Fault{Delay: 40 * time.Millisecond})
+			r.SetBetweenZones("b", "a", Fault{Delay: 40 * time.Millisecond})
 		}, nil, nil, true, 90 * time.Millisecond, soon},
 	} {
 		e := newEnds(t, 1)
-		e.r.Place("mouth", "a")
-		e.r.Place("ear", "b")
+		e.r.SetZone("mouth", "a")
+		e.r.SetZone("ear", "b")
 		heard := make(chan string, 10)
 		go echo(e.stream, heard)
 		patience := soon
@@ -151,7 +151,7 @@
 		}
 	}
 	for _, gone := range []bool{true, false} {
-		if err := e.r.Down("s0", gone); err != nil {
+		if err := e.r.SetDown("s0", gone); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := call(at["n1"], false); errors.Is(err, syscall.ECONNREFUSED) != gone {
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -20,7 +20,7 @@
 	Nodes, Servers   int
 	Rate             float64  // transactions a second in usual times
 	Steps            []string // of the script, empty for all; members meet in any case
-	Alone            bool     // nodes have no agents: figures for comparison, bounds not checked
+	WithoutAgents    bool     // nodes have no agents: figures for comparison, bounds not checked
 	Binary, Mutation string   // the agent's binary is beside the node's
 	Progress         io.Writer
 }
@@ -51,7 +51,7 @@
 // fleetScene is one run.
 type fleetScene struct {
 	FleetOptions
-	*testbed.World
+	*testbed.Testbed
 }
 
 // Fleet plays the scene: nodes with agents that gossip through a relay with faults, while
@@ -61,7 +61,7 @@
 	if _, ok := FleetMutations[o.Mutation]; o.Mutation != "" && !ok {
 		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
-	w := testbed.Options{Scene: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, Alone: o.Alone, Binary: o.Binary,
+	w := testbed.Options{Scenario: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, WithoutAgents: o.WithoutAgents, Binary: o.Binary,
 		Mutation: o.Mutation, Progress: o.Progress, Ramp: fleetRamp, Window: fleetWindow, Hold: fleetHold, Retries: fleetRetries}
 	if o.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
@@ -73,7 +73,7 @@
 		name := "coralagent"
 		if o.Mutation == "deaf" {
 			program, name = &w.Binary, "coralrelay"
-			w.Agent = testbed.Beside(o.Binary, "coralagent")
+			w.Agent = testbed.SiblingBinary(o.Binary, "coralagent")
 		}
 		if *program, err = testbed.BuildMutated(ctx, dir, name); err != nil {
 			return nil, err
@@ -83,16 +83,16 @@
 	if err != nil {
 		return nil, err
 	}
-	defer built.End()
+	defer built.Close()
 	s := &fleetScene{o, built}
 	s.Scaled = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		o.Nodes, fleetRamp, cutFor)
-	steps := []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "fall", Do: s.fall}, {Name: "lies", Do: s.lies},
+	steps := []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "fall", Do: s.fall}, {Name: "lies", Do: s.lies},
 		{Name: "bad", Do: s.bad}, {Name: "full", Do: s.full}}
 	if err := s.Play(ctx, steps, o.Steps); err != nil {
 		return nil, err
 	}
-	s.Retried()
+	s.CountRetry()
 	return s.Result, ctx.Err()
 }
 
@@ -101,16 +101,16 @@
 	fake.Sleep(ctx, 5*time.Second)
 	from, since := s.said(), time.Now()
 	fake.Sleep(ctx, 3*time.Second)
-	s.Set("gossip_bytes_per_node_per_s", float64(s.said()-from)/float64(len(s.Names))/time.Since(since).Seconds())
-	if !s.FleetOptions.Alone {
-		s.Least("gossip_bytes_per_node_per_s", 100)
+	s.SetMetric("gossip_bytes_per_node_per_s", float64(s.said()-from)/float64(len(s.Names))/time.Since(since).Seconds())
+	if !s.FleetOptions.WithoutAgents {
+		s.RequireAtLeast("gossip_bytes_per_node_per_s", 100)
 	}
 	return nil
 }
 
 func (s *fleetScene) said() (bytes uint64) {
 	for _, name := range s.Names {
-		n, _ := s.Relay.Said(name)
+		n, _ := s.Proxy.Transferred(name)
 		bytes += n
 	}
 	return bytes
@@ -118,12 +118,12 @@
 
 // full has half of the servers turn every first line away, while their probes look well.
 func (s *fleetScene) full(ctx context.Context, _ *mrand.Rand) error {
-	for _, v := range s.All()[:s.FleetOptions.Servers/2] {
-		v.Spoil(fake.Full)
+	for _, v := range s.AllServers()[:s.FleetOptions.Servers/2] {
+		v.SetFault(fake.AnswersBusy)
 	}
 	fake.Sleep(ctx, 8*time.Second)
-	for _, v := range s.All()[:s.FleetOptions.Servers/2] {
-		v.Spoil(fake.Sound)
+	for _, v := range s.AllServers()[:s.FleetOptions.Servers/2] {
+		v.SetFault(fake.Healthy)
 	}
 	fake.Sleep(ctx, time.Second)
 	return nil
--- a/internal/scenario/fleet_cold.go
+++ b/internal/scenario/fleet_cold.go
@@ -23,30 +23,30 @@
 			rest = append(rest, s.Names[n])
 		}
 	}
-	s.Relay.Between(s.Names, s.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Twice: 0.05})
+	s.Proxy.SetBetween(s.Names, s.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Duplicate: 0.05})
 	s.Pace(wave)
 	started, err := s.Join("cold", "a", true)
 	if err != nil {
 		return err
 	}
 	fake.Sleep(ctx, 1500*time.Millisecond+time.Duration(rng.IntN(1000))*time.Millisecond)
-	s.Relay.Between(cut, rest, faultproxy.Fault{Cut: true})
+	s.Proxy.SetBetween(cut, rest, faultproxy.Fault{Cut: true})
 	fake.Sleep(ctx, cutFor)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.Pace(1)
 	fake.Sleep(ctx, time.Second)
-	most, _ := s.Against("cold", started, time.Now())
-	dealt := s.Dealt("cold", started)
-	s.Set("cold_epoch_of_deal", dealt)
-	if !s.FleetOptions.Alone && dealt > testbed.Chance {
-		s.Broken("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", dealt))
+	most, _ := s.RequestsAgainst("cold", started, time.Now())
+	dealt := s.GrantedTokens("cold", started)
+	s.SetMetric("cold_epoch_of_deal", dealt)
+	if !s.FleetOptions.WithoutAgents && dealt > testbed.ChanceAllowance {
+		s.AddViolation("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", dealt))
 	}
 	s.Leave("cold")
-	s.Set("cold_most_of_budget", most)
-	if !s.FleetOptions.Alone && most > testbed.Chance {
-		s.Broken("cold", fmt.Sprintf("a cold server was sent %.2f times its budget within %v", most, fleetWindow))
+	s.SetMetric("cold_most_of_budget", most)
+	if !s.FleetOptions.WithoutAgents && most > testbed.ChanceAllowance {
+		s.AddViolation("cold", fmt.Sprintf("a cold server was sent %.2f times its budget within %v", most, fleetWindow))
 	}
-	s.Least("cold_most_of_budget", 0.2) // else nobody tried
+	s.RequireAtLeast("cold_most_of_budget", 0.2) // else nobody tried
 	return nil
 }
 
@@ -55,7 +55,7 @@
 func (s *fleetScene) fall(ctx context.Context, rng *mrand.Rand) error {
 	dead := rng.Perm(len(s.Names))[:len(s.Names)*5/7]
 	for _, i := range dead {
-		s.Fell(s.Names[i])
+		s.ServerFailed(s.Names[i])
 	}
 	// Failed is known some seconds later, and then the hold begins.
 	fake.Sleep(ctx, 8*time.Second+fleetHold)
@@ -66,18 +66,18 @@
 	}
 	fake.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond world.Chance
 	s.Pace(1)
-	most, mean := s.Against("late", started, time.Now())
+	most, mean := s.RequestsAgainst("late", started, time.Now())
 	s.Leave("late")
-	s.Set("late_most_of_budget", most)
-	s.Set("late_mean_of_budget", mean)
-	if !s.FleetOptions.Alone && most > testbed.Chance {
-		s.Broken("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", most, fleetWindow))
+	s.SetMetric("late_most_of_budget", most)
+	s.SetMetric("late_mean_of_budget", mean)
+	if !s.FleetOptions.WithoutAgents && most > testbed.ChanceAllowance {
+		s.AddViolation("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", most, fleetWindow))
 	}
-	if !s.FleetOptions.Alone && mean < leastUse {
-		s.Broken("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, leastUse))
+	if !s.FleetOptions.WithoutAgents && mean < leastUse {
+		s.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, leastUse))
 	}
 	for _, i := range dead {
-		if err := s.Rise(ctx, s.Names[i]); err != nil {
+		if err := s.RestartServer(ctx, s.Names[i]); err != nil {
 			return err
 		}
 	}
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -17,7 +17,7 @@
 
 // lies has one member with the key accuse sound servers, and strangers without it.
 func (s *fleetScene) lies(ctx context.Context, _ *mrand.Rand) error {
-	if s.FleetOptions.Alone {
+	if s.FleetOptions.WithoutAgents {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -26,7 +26,7 @@
 	defer cancel()
 	accused := []string{"s0", "s1", "s2"}
 	speak := func(name string, number int, open bool) error {
-		bind, advertise, err := s.Party(name, number)
+		bind, advertise, err := s.AddParty(name, number)
 		if err != nil {
 			return err
 		}
@@ -65,9 +65,9 @@
 	for _, id := range accused {
 		least = min(least, share[id])
 	}
-	s.Set("accused_least_share", least)
+	s.SetMetric("accused_least_share", least)
 	if least < 0.5 {
-		s.Broken("lies", fmt.Sprintf("a sound server that false members accuse gets %.2f of its share", least))
+		s.AddViolation("lies", fmt.Sprintf("a sound server that false members accuse gets %.2f of its share", least))
 	}
 	return nil
 }
--- a/internal/scenario/flood.go
+++ b/internal/scenario/flood.go
@@ -46,7 +46,7 @@
 		s0, c0 := sent.Load(), came.Load()
 		fake.Sleep(ctx, phase)
 		x := float64(came.Load()-c0) / max(1, float64(sent.Load()-s0))
-		s.Set("steady answered "+part, x)
+		s.SetMetric("steady answered "+part, x)
 		return x
 	}
 	fake.Sleep(ctx, arrivals+2*o.After.Duration+time.Second)
@@ -55,7 +55,7 @@
 	for i := range flooders {
 		wg.Go(func() {
 			n := fake.Flood(spoofing, o.Listen, "spoofed", uint32(1<<22+i<<20), true)
-			s.Add("flood sent", float64(n))
+			s.AddMetric("flood sent", float64(n))
 		})
 	}
 	beside := share("beside a flood")
@@ -64,20 +64,20 @@
 	begun := time.Now()
 	wg.Go(func() {
 		n := fake.Flood(loud, o.Listen, "loud", 1<<22-1, false)
-		s.Add("one source's sent", float64(n))
+		s.AddMetric("one source's sent", float64(n))
 	})
 	share("beside one source")
 	hush()
 	took := time.Since(begun).Seconds()
-	s.Set("steady, with against without the flood", beside/max(0.001, alone))
+	s.SetMetric("steady, with against without the flood", beside/max(0.001, alone))
 	if beside < 0.99*alone {
-		s.Broken("flood", fmt.Sprintf("steady flows: %.4f answered beside the flood, %.4f without", beside, alone))
+		s.AddViolation("flood", fmt.Sprintf("steady flows: %.4f answered beside the flood, %.4f without", beside, alone))
 	}
 	fake.Sleep(ctx, 500*time.Millisecond)
 	// Two slots for each source, and what was in them at first.
-	if most := 2 * (o.Sources.Rate*took + o.Sources.Burst); s.Get("one source's flows that went on") > most {
-		s.Broken("source", fmt.Sprintf("%g flows of one source went on, %g are allowed", s.Get("one source's flows that went on"), most))
+	if most := 2 * (o.Sources.Rate*took + o.Sources.Burst); s.Metric("one source's flows that went on") > most {
+		s.AddViolation("source", fmt.Sprintf("%g flows of one source went on, %g are allowed", s.Metric("one source's flows that went on"), most))
 	}
-	s.Least("flood sent", 1000)
-	s.Least("one source's flows that went on", 1)
+	s.RequireAtLeast("flood sent", 1000)
+	s.RequireAtLeast("one source's flows that went on", 1)
 }
--- a/internal/scenario/promises.go
+++ b/internal/scenario/promises.go
@@ -17,18 +17,18 @@
 )
 
 // PromisesOptions size the scene of contracts on response times.
-type PromisesOptions struct {
+type SLOOptions struct {
 	Seed                          uint64
 	Nodes, Voters, Zones, Servers int
 	Rate                          float64  // transactions a second of all contracts
 	Steps                         []string // of the script, empty for all; members meet in any case
-	Alone                         bool     // without the same play unsteered and greedy beside it
+	SteeredOnly                   bool     // without the same play unsteered and greedy beside it
 	Binary, Mutation              string   // the agent's binary is beside the node's
 	Progress                      io.Writer
 }
 
 // PromisesMutations are the guards that the scenario can switch off, all in the agent.
-var PromisesMutations = map[string]string{
+var SLOMutations = map[string]string{
 	"greedy":         "all there is goes to the best region at once",
 	"confidence":     "a few samples are a verdict",
 	"hysteresis":     "no patience, no margin, and no budget asked",
@@ -46,8 +46,8 @@
 
 // promisesScene is one run.
 type promisesScene struct {
-	PromisesOptions
-	*testbed.World
+	SLOOptions
+	*testbed.Testbed
 	name   string // of the run, empty for the one that is checked
 	root   ed25519.PrivateKey
 	quick  string // the zone that is slow first,
@@ -65,14 +65,14 @@
 
 // Promises plays the scene: regions become slow, are small, are left and return, while
 // contracts that can and cannot be kept are steered by the record.
-func Promises(ctx context.Context, o PromisesOptions) (*testbed.Result, error) {
+func SLO(ctx context.Context, o SLOOptions) (*testbed.Result, error) {
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	mutatedAgent := ""
-	if o.Mutation != "" || !o.Alone {
+	if o.Mutation != "" || !o.SteeredOnly {
 		if mutatedAgent, err = testbed.BuildMutated(ctx, dir, "coralagent"); err != nil {
 			return nil, err
 		}
@@ -84,7 +84,7 @@
 	runs := []run{{"", "", "", true}}
 	if o.Mutation != "" {
 		runs = []run{{"", mutatedAgent, o.Mutation, true}}
-	} else if !o.Alone {
+	} else if !o.SteeredOnly {
 		runs = append(runs, run{"unsteered", "", "", false}, run{"greedy", mutatedAgent, "greedy", true})
 	}
 	scenes, errs := make([]*promisesScene, len(runs)), make([]error, len(runs))
@@ -107,12 +107,12 @@
 }
 
 // playPromises is one run.
-func playPromises(ctx context.Context, o PromisesOptions, name, agent, mutation string, steered bool) (*promisesScene, error) {
+func playPromises(ctx context.Context, o SLOOptions, name, agent, mutation string, steered bool) (*promisesScene, error) {
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		return nil, err
 	}
-	w := testbed.Options{Scene: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
+	w := testbed.Options{Scenario: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
 		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Mutation: mutation,
 		Ramp: promisesRamp, Window: promisesWindow, Hold: 3 * time.Second, Retries: 0.3}
 	if name == "" {
@@ -121,11 +121,11 @@
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operatorconfig.File) {
+	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
 		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(promisesRamp)
-		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
+		z.Cold, z.Bears = testbed.SlowStartShare, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
 		p := &f.Fleet.SLO
 		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, pace, stepAtMost, 0.15, in(45*time.Second)
@@ -134,21 +134,21 @@
 	if err != nil {
 		return nil, err
 	}
-	defer built.End()
-	s := &promisesScene{PromisesOptions: o, World: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
+	defer built.Close()
+	s := &promisesScene{SLOOptions: o, Testbed: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
 		parts: map[string][2]time.Time{}, unkept: map[string]string{}}
 	s.quick, s.second, s.small = w.Zones[1], w.Zones[0], w.Zones[2]
 	built.Pace(0.02) // the world's own clients are under no contract
-	for _, v := range built.Of(s.small)[1:] {
+	for _, v := range built.ServersIn(s.small)[1:] {
 		built.Leave(v.Name)
 	}
 	s.slow(nil)
 	built.Slow = s.answersIn
 	var servers []string
-	for _, v := range built.All() {
+	for _, v := range built.AllServers() {
 		servers = append(servers, v.Name)
 	}
-	built.Relay.OneWay(built.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: lost})
+	built.Proxy.SetOneWay(built.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: lost})
 	ctx, cancel := context.WithCancel(ctx)
 	var parts sync.WaitGroup
 	defer parts.Wait()
@@ -176,7 +176,7 @@
 func (s *promisesScene) slow(zones map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, zone := range s.World.Zones {
+	for i, zone := range s.Testbed.Zones {
 		s.slowed[zone] = nearest + time.Duration(i)*apart
 		if zones[zone] {
 			s.slowed[zone] = slowAnswer
@@ -201,7 +201,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			for _, zone := range s.World.Zones {
+			for _, zone := range s.Testbed.Zones {
 				load := s.loadOf(zone, now.Add(-time.Second), now)
 				s.mu.Lock()
 				s.full[zone] = load
@@ -213,6 +213,6 @@
 
 // loadOf is what a zone's servers were asked, over what they bear warm.
 func (s *promisesScene) loadOf(zone string, from, until time.Time) float64 {
-	bears := float64(len(s.Of(zone))) * s.World.Rate / float64(s.PromisesOptions.Servers) / testbed.UsualLoad
-	return float64(len(s.Into(zone, from, until))) / until.Sub(from).Seconds() / bears
+	bears := float64(len(s.ServersIn(zone))) * s.Testbed.Rate / float64(s.SLOOptions.Servers) / testbed.UsualLoad
+	return float64(len(s.FirstLinesInto(zone, from, until))) / until.Sub(from).Seconds() / bears
 }
--- a/internal/scenario/promises_figures.go
+++ b/internal/scenario/promises_figures.go
@@ -36,7 +36,7 @@
 	kept := map[int][]float64{}
 	for _, t := range s.tenants() {
 		share, n := s.kept(t, from, until)
-		s.Set(s.figure("kept_of_"+t.Name), share)
+		s.SetMetric(s.figure("kept_of_"+t.Name), share)
 		if t.Name != "dream" && n > 0 {
 			kept[t.Priority] = append(kept[t.Priority], share)
 		}
@@ -46,15 +46,15 @@
 		for _, share := range list {
 			sum += share
 		}
-		s.Set(s.figure(fmt.Sprint("kept_priority_", priority)), sum/float64(len(list)))
+		s.SetMetric(s.figure(fmt.Sprint("kept_priority_", priority)), sum/float64(len(list)))
 	}
 	moved := 0.0
 	for _, x := range s.moves(from, until) {
 		moved += x.moved
 	}
-	s.Set(s.figure("moved_tenants_a_minute"), moved/until.Sub(from).Minutes())
+	s.SetMetric(s.figure("moved_tenants_a_minute"), moved/until.Sub(from).Minutes())
 	if s.name == "" {
-		s.Least("tenants_up", 1000)
+		s.RequireAtLeast("tenants_up", 1000)
 	}
 }
 
@@ -62,22 +62,22 @@
 // of the first two priorities.
 func (s *promisesScene) beside(first *promisesScene) {
 	for _, name := range slices.Sorted(figureNames(s)) {
-		first.Set(name, s.Get(name))
+		first.SetMetric(name, s.Metric(name))
 	}
 	for _, v := range s.Violations {
-		first.Broken(s.name+" "+v.Rule, v.Detail)
+		first.AddViolation(s.name+" "+v.Rule, v.Detail)
 	}
 	for _, priority := range []int{0, 1} {
 		figure := fmt.Sprint("kept_priority_", priority)
-		if is, was := first.Get(figure), s.Get(s.figure(figure)); is <= was && len(first.Steps) == 0 {
-			first.Broken("better", fmt.Sprintf("priority %d: %.3f of windows were kept, %s %.3f", priority, is, s.name, was))
+		if is, was := first.Metric(figure), s.Metric(s.figure(figure)); is <= was && len(first.Steps) == 0 {
+			first.AddViolation("better", fmt.Sprintf("priority %d: %.3f of windows were kept, %s %.3f", priority, is, s.name, was))
 		}
 	}
 }
 
 func figureNames(s *promisesScene) func(func(string) bool) {
 	return func(yield func(string) bool) {
-		for name := range s.Figures {
+		for name := range s.Metrics {
 			if strings.HasPrefix(name, s.name+"_") && !yield(name) {
 				return
 			}
--- a/internal/scenario/promises_seen.go
+++ b/internal/scenario/promises_seen.go
@@ -36,17 +36,17 @@
 
 // clients open tenants' transactions at the rate until ctx ends.
 func (s *promisesScene) clients(ctx context.Context, all *sync.WaitGroup) {
-	rng := mrand.New(mrand.NewPCG(s.PromisesOptions.Seed, 21))
+	rng := mrand.New(mrand.NewPCG(s.SLOOptions.Seed, 21))
 	tenants := s.tenants()
 	next := time.Now()
 	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
-		next = next.Add(time.Duration(rng.ExpFloat64() / s.World.Rate * float64(time.Second)))
+		next = next.Add(time.Duration(rng.ExpFloat64() / s.Testbed.Rate * float64(time.Second)))
 		at, x := 0, rng.Float64()
 		for at < len(tenants)-1 && x >= tenants[at].part {
 			x -= tenants[at].part
 			at++
 		}
-		node, addr := s.World.Nodes.Pick(rng)
+		node, addr := s.Testbed.Nodes.Pick(rng)
 		all.Go(func() { s.client(ctx, id, tenants[at].Name, node, addr) })
 	}
 }
@@ -68,14 +68,14 @@
 		return
 	}
 	if err != nil {
-		s.Broken("answer", fmt.Sprintf("%s-%x at %s got no final answer: %v", tenant, id, node, err))
+		s.AddViolation("answer", fmt.Sprintf("%s-%x at %s got no final answer: %v", tenant, id, node, err))
 		return
 	}
 	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
 	s.mu.Lock()
 	s.said = append(s.said, reply{tenant, word, begun, took})
 	s.mu.Unlock()
-	s.Add("tenants_"+strings.ToLower(word), 1)
+	s.AddMetric("tenants_"+strings.ToLower(word), 1)
 	if word == "UP" {
 		fake.Sleep(ctx, 2*time.Second) // so long that one is little of a server's load
 	}
@@ -86,7 +86,7 @@
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
-		if err := s.Agents[s.Names[at%len(s.Names)]].Ask(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
+		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
 			continue // an agent that is behind, or has not met anybody
 		}
 		steps = state.Contracts.Steps
@@ -100,7 +100,7 @@
 				old.Shares = s.even(s.tenant(a.Contract))
 			}
 			x := steered{Allocation: a, at: time.Now(), left: map[string]float64{}}
-			for _, zone := range s.World.Zones {
+			for _, zone := range s.Testbed.Zones {
 				x.moved += max(a.Shares[zone]-old.Shares[zone], 0)
 				x.left[zone] = old.Shares[zone] - a.Shares[zone]
 			}
@@ -116,7 +116,7 @@
 // even is where a contract goes that was never steered.
 func (s *promisesScene) even(t tenant) map[string]float64 {
 	shares, all := map[string]float64{}, 0.0
-	for _, v := range s.All() {
+	for _, v := range s.AllServers() {
 		if len(t.Zones) == 0 || slices.Contains(t.Zones, v.Zone) {
 			shares[v.Zone]++
 			all++
@@ -172,7 +172,7 @@
 // and how many he had in all.
 func (s *promisesScene) into(name, zone string, from, until time.Time) (share float64, all int) {
 	n := 0
-	for _, l := range s.Lines(from, until) {
+	for _, l := range s.FirstLines(from, until) {
 		if strings.HasPrefix(l.Key, name+"-") {
 			if all++; l.Zone == zone {
 				n++
@@ -198,7 +198,7 @@
 	for _, t := range s.tenants() {
 		now[t.Name] = t.part * s.even(t)[zone]
 	}
-	bears := float64(len(s.Of(zone))) / float64(s.PromisesOptions.Servers) / testbed.UsualLoad
+	bears := float64(len(s.ServersIn(zone))) / float64(s.SLOOptions.Servers) / testbed.UsualLoad
 	for _, x := range s.moves(time.Time{}, until) {
 		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Over, 0)
 		sum := 0.0
--- a/internal/scenario/promises_steps.go
+++ b/internal/scenario/promises_steps.go
@@ -26,7 +26,7 @@
 )
 
 // script is what happens. Its first step is played in any case.
-func (s *promisesScene) script(ctx context.Context, all *sync.WaitGroup) (steps []testbed.Step) {
+func (s *promisesScene) script(ctx context.Context, all *sync.WaitGroup) (steps []testbed.Phase) {
 	meet := func(context.Context, *mrand.Rand) error {
 		all.Go(func() { s.clients(ctx, all) })
 		if _, met := testbed.Await(ctx, 30*time.Second, s.met); !met && ctx.Err() == nil {
@@ -42,7 +42,7 @@
 		name string
 		do   func(context.Context) error
 	}{{"calm", s.calm}, {"slow", s.slower}, {"other", s.other}, {"left", s.left}} {
-		steps = append(steps, testbed.Step{Name: step.name, Do: func(ctx context.Context, _ *mrand.Rand) error {
+		steps = append(steps, testbed.Phase{Name: step.name, Do: func(ctx context.Context, _ *mrand.Rand) error {
 			from := time.Now()
 			err := step.do(ctx)
 			s.mu.Lock()
@@ -51,7 +51,7 @@
 			return err
 		}})
 	}
-	return append([]testbed.Step{{Name: "meet", Do: meet}}, steps...)
+	return append([]testbed.Phase{{Name: "meet", Do: meet}}, steps...)
 }
 
 // met tells whether all agents hear the record, at one index.
@@ -59,7 +59,7 @@
 	index := uint64(0)
 	for i, name := range s.Names {
 		var state agentapi.State
-		if err := s.Agents[name].Ask(agentapi.Ask{Ask: "state"}, &state); err != nil || !state.Fresh || state.Leader == "" || i > 0 && state.Index != index {
+		if err := s.Agents[name].Call(agentapi.Ask{Ask: "state"}, &state); err != nil || !state.Fresh || state.Leader == "" || i > 0 && state.Index != index {
 			return false
 		}
 		index = state.Index
@@ -70,7 +70,7 @@
 // breaks notes a broken rule of the run that is checked.
 func (s *promisesScene) breaks(rule, format string, args ...any) {
 	if s.name == "" {
-		s.Broken(rule, fmt.Sprintf(format, args...))
+		s.AddViolation(rule, fmt.Sprintf(format, args...))
 	}
 }
 
@@ -101,7 +101,7 @@
 		s.breaks("unkept", "dream can be kept nowhere, and the record says %q of it", why)
 	}
 	share, n := s.into("dream", s.quick, from, time.Now())
-	s.Set(s.figure("dream_served_by_slow"), share)
+	s.SetMetric(s.figure("dream_served_by_slow"), share)
 	if n == 0 {
 		s.breaks("unkept", "dream was not served at all")
 	}
@@ -128,13 +128,13 @@
 		share, n := s.into(name, s.quick, time.Now().Add(-settledFor), time.Now())
 		back, all = back+share*float64(n), all+float64(n)
 	}
-	s.Set(s.figure("back"), back/max(all, 1))
+	s.SetMetric(s.figure("back"), back/max(all, 1))
 	if back < 0.15*all || all == 0 {
 		s.breaks("back", "%.0f of %.0f first lines of those who had left went to the region that is well again", back, all)
 	}
 	for _, t := range s.tenants()[:4] {
 		share, n := s.into(t.Name, s.second, time.Now().Add(-settledFor), time.Now())
-		s.Set(s.figure(t.Name+"_in_slow"), share)
+		s.SetMetric(s.figure(t.Name+"_in_slow"), share)
 		if t.Name == "gold" && share > exploreMay {
 			s.breaks("explore", "%.3f of %d of %s's first lines went to the slow region once it had left", share, n, t.Name)
 		}
@@ -146,14 +146,14 @@
 func (s *promisesScene) left(ctx context.Context) error {
 	s.slow(nil)
 	fake.Sleep(ctx, 2*time.Second)
-	for _, v := range s.Of(s.small) {
-		v.Spoil(fake.Silent)
+	for _, v := range s.ServersIn(s.small) {
+		v.SetFault(fake.Unresponsive)
 	}
 	begun := time.Now()
 	fake.Sleep(ctx, leaving)
 	from := time.Now()
 	fake.Sleep(ctx, 2*time.Second)
-	for _, l := range s.Into(s.small, from, time.Now()) {
+	for _, l := range s.FirstLinesInto(s.small, from, time.Now()) {
 		s.breaks("left", "%s sent %s %v after the region failed", l.Node, l.Key, l.At.Sub(begun))
 	}
 	gone := map[string]float64{}
@@ -165,12 +165,12 @@
 			s.breaks("left", "%s has %.3f of itself in a region that is left", name, share)
 		}
 	}
-	for _, v := range s.Of(s.small) {
-		v.Spoil(fake.Sound)
+	for _, v := range s.ServersIn(s.small) {
+		v.SetFault(fake.Healthy)
 	}
 	back := time.Now()
-	_, came := testbed.Await(ctx, 20*time.Second, func() bool { return len(s.Into(s.small, back, time.Now())) > 0 })
-	s.Set(s.figure("return_ms"), float64(time.Since(back).Milliseconds()))
+	_, came := testbed.Await(ctx, 20*time.Second, func() bool { return len(s.FirstLinesInto(s.small, back, time.Now())) > 0 })
+	s.SetMetric(s.figure("return_ms"), float64(time.Since(back).Milliseconds()))
 	if !came && ctx.Err() == nil {
 		s.breaks("return", "nobody went to the region that returned within %v", time.Since(back))
 	}
@@ -182,7 +182,7 @@
 // holds checks that a promise is kept once the loop has settled.
 func (s *promisesScene) holds(step string, t tenant) {
 	share, n := s.kept(t, time.Now().Add(-settledFor), time.Now().Add(-t.seen()))
-	s.Set(s.figure(step+"_"+t.Name+"_kept_settled"), share)
+	s.SetMetric(s.figure(step+"_"+t.Name+"_kept_settled"), share)
 	if share < leastKept || n == 0 {
 		s.breaks("kept", "%s: %.2f of the last %d windows of %s were kept", step, share, n, t.Name)
 	}
@@ -205,14 +205,14 @@
 }
 
 func (s *promisesScene) load(step string, from time.Time) {
-	for _, zone := range s.World.Zones {
+	for _, zone := range s.Testbed.Zones {
 		most := s.fullest(zone, from, time.Now())
-		s.Set(s.figure(step+"_load_"+zone), most)
+		s.SetMetric(s.figure(step+"_load_"+zone), most)
 		if most > fullAtMost {
 			s.breaks("bears", "%s: region %s was sent %.2f of what it bears", step, zone, most)
 		}
 		given := s.given(zone, from, time.Now())
-		s.Set(s.figure(step+"_given_"+zone), given)
+		s.SetMetric(s.figure(step+"_given_"+zone), given)
 		if given > givenMost {
 			s.breaks("bears", "%s: region %s was given %.2f of what it bears", step, zone, given)
 		}
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -47,7 +47,7 @@
 	*testbed.Result
 	rng     *rand.Rand
 	feed    *fake.Feed
-	roster  *fake.Roster
+	roster  *fake.Discovery
 	servers []*fake.Server
 	nodes   testbed.Nodes
 	clients []*fake.Client
@@ -75,7 +75,7 @@
 // listings change, with tokens presented twice, stolen and forged.
 func Resume(ctx context.Context, o ResumeOptions) (*testbed.Result, error) {
 	r := testbed.NewResult("resume", o.Seed)
-	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewRoster(),
+	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewDiscovery(),
 		feed:   fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
 		owners: map[string]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
 		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	defer s.roster.Close()
-	defer s.nodes.End()
+	defer s.nodes.Terminate()
 	if err := s.play(ctx); err != nil {
 		return nil, err
 	}
@@ -153,14 +153,14 @@
 			return err
 		}
 		n, err := testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
-			Number: i, Nodes: s.Nodes, Mutation: mutation, Own: &own})
+			Number: i, Nodes: s.Nodes, Mutation: mutation, OperatorConfig: &own})
 		if err != nil {
 			return err
 		}
 		s.nodes = append(s.nodes, n)
 	}
 	for i := range s.Servers {
-		o := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Witness: s, History: 200,
+		o := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Observer: s, History: 200,
 			Capacity: max(60, 3*s.Clients/s.Servers), IgnoreEpoch: s.Mutation == "epoch"}
 		switch i % 3 {
 		case 1:
--- a/internal/scenario/resume_abuse.go
+++ b/internal/scenario/resume_abuse.go
@@ -36,18 +36,18 @@
 			if time.Since(t.at) < 3*time.Second {
 				continue
 			}
-			s.Add("presented again", 1)
+			s.AddMetric("presented again", 1)
 		case kind == 2: // the latest, before its owner is back
 			s.mu.Lock()
 			t = s.tokens[len(s.tokens)-1]
 			s.mu.Unlock()
 			t.key, t.group = "thief", fmt.Sprintf("g%d", rng.IntN(4))
-			s.Add("stolen", 1)
+			s.AddMetric("stolen", 1)
 		default:
 			t.token = spoil(own, t.token)
-			s.Add("spoiled", 1)
+			s.AddMetric("spoiled", 1)
 		}
-		wg.Go(func() { fake.Present(ctx, s.nodes, own, t.key, t.group, "feed", t.token, testbed.Patience) })
+		wg.Go(func() { fake.PresentToken(ctx, s.nodes, own, t.key, t.group, "feed", t.token, testbed.Patience) })
 	}
 }
 
@@ -73,7 +73,7 @@
 		for _, c := range s.clients {
 			before := time.Now().Add(-freshness)
 			versions, since := c.Versions()
-			if c.Plain || since.IsZero() || since.After(before) {
+			if c.WithoutResumption || since.IsZero() || since.After(before) {
 				continue
 			}
 			s.compare(c, versions, before)
@@ -82,10 +82,10 @@
 }
 
 func (s *scene) compare(c *fake.Client, versions map[int]uint64, at time.Time) {
-	s.Add("comparisons", 1)
+	s.AddMetric("comparisons", 1)
 	for l, v := range s.feed.State(c.Group, s.feed.Head(c.Group, at)) {
 		if versions[l] < v {
-			s.Broken("fresh", fmt.Sprintf("%s has version %d of %s's listing %d, %v after version %d", c.Key, versions[l], c.Group, l, freshness, v))
+			s.AddViolation("fresh", fmt.Sprintf("%s has version %d of %s's listing %d, %v after version %d", c.Key, versions[l], c.Group, l, freshness, v))
 		}
 	}
 }
@@ -93,12 +93,12 @@
 // settled holds every client to the latest of everything.
 func (s *scene) settled() {
 	for _, c := range s.clients {
-		if c.Plain {
+		if c.WithoutResumption {
 			continue
 		}
 		versions, since := c.Versions()
 		if since.IsZero() {
-			s.Broken("fresh", c.Key+" has no stream at the end")
+			s.AddViolation("fresh", c.Key+" has no stream at the end")
 			continue
 		}
 		s.compare(c, versions, time.Now())
@@ -109,7 +109,7 @@
 	for n := 1; fake.Sleep(ctx, time.Second); n++ {
 		if s.Progress != nil {
 			fmt.Fprintf(s.Progress, "\r%3d s  %5.0f moves  %5.0f resumed  %5.0f snapshots  %3.0f drains  %2.0f restarts  %2.0f nodes killed ",
-				n, s.Get("moves"), s.Get("resumed"), s.Get("snapshots"), s.Get("drains"), s.Get("planned restarts"), s.Get("nodes killed"))
+				n, s.Metric("moves"), s.Metric("resumed"), s.Metric("snapshots"), s.Metric("drains"), s.Metric("planned restarts"), s.Metric("nodes killed"))
 		}
 	}
 }
--- a/internal/scenario/resume_faults.go
+++ b/internal/scenario/resume_faults.go
@@ -38,7 +38,7 @@
 	switch {
 	case kind < 4:
 		if happens = free("drained", 1200*time.Millisecond) && free(server.Name, 6*time.Second); happens {
-			s.Add("drains", 1)
+			s.AddMetric("drains", 1)
 			away := time.Duration(0)
 			if kind%2 == 0 {
 				away = 800 * time.Millisecond // it sends its clients away itself
@@ -47,31 +47,31 @@
 		}
 	case kind < 5:
 		if happens = free(server.Name, 3*time.Second); happens {
-			s.Add("overloads", 1)
+			s.AddMetric("overloads", 1)
 			wg.Go(func() {
-				server.Report(1.3)
+				server.SetLoad(1.3)
 				fake.Sleep(ctx, 1500*time.Millisecond)
-				server.Report(0)
+				server.SetLoad(0)
 			})
 		}
 	case kind < 6:
 		if happens = free("killed", 4*time.Second) && free(server.Name, 8*time.Second); happens {
-			s.Add("servers killed", 1)
-			wg.Go(func() { s.Fall(ctx, s.roster, server, s.names, 200*time.Millisecond, 800*time.Millisecond) })
+			s.AddMetric("servers killed", 1)
+			wg.Go(func() { s.FailServer(ctx, s.roster, server, s.names, 200*time.Millisecond, 800*time.Millisecond) })
 		}
 	case kind < 8:
 		if happens = free("node", 4*time.Second); happens {
-			s.Add("planned restarts", 1)
+			s.AddMetric("planned restarts", 1)
 			wg.Go(func() {
 				if err := node.Restart(ctx); err != nil && ctx.Err() == nil {
-					s.Broken("restart", err.Error())
+					s.AddViolation("restart", err.Error())
 				}
 			})
 		}
 	default:
 		if happens = free("node", 3*time.Second) && free(server.Name, 6*time.Second); happens {
 			// Clients are told to move, and the node falls among their returns.
-			s.Add("nodes killed", 1)
+			s.AddMetric("nodes killed", 1)
 			wg.Go(func() { s.drain(ctx, server, 0) })
 			wait := 100*time.Millisecond + time.Duration(s.rng.IntN(1400))*time.Millisecond
 			wg.Go(func() {
@@ -79,7 +79,7 @@
 				node.Kill()
 				fake.Sleep(ctx, 300*time.Millisecond)
 				if err := node.Start(ctx); err != nil && ctx.Err() == nil {
-					s.Broken("restart", err.Error())
+					s.AddViolation("restart", err.Error())
 				}
 			})
 		}
--- a/internal/scenario/resume_play.go
+++ b/internal/scenario/resume_play.go
@@ -27,7 +27,7 @@
 	})
 	for i := range s.Clients {
 		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
-			Patience: testbed.Patience, Front: s.nodes, Diary: s, Twice: 0.1, Plain: i%25 == 24}
+			Patience: testbed.Patience, Nodes: s.nodes, Observer: s, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
 		c.Seed(s.ResumeOptions.Seed, uint64(i))
 		s.clients = append(s.clients, c)
 		wg.Go(func() {
@@ -41,12 +41,12 @@
 	fake.Sleep(ctx, arrivals+time.Second)
 	rotated := false
 	limit := time.Now().Add(time.Duration(s.Moves)*250*time.Millisecond + 30*time.Second)
-	for s.Get("moves") < float64(s.Moves) {
+	for s.Metric("moves") < float64(s.Moves) {
 		if time.Now().After(limit) {
-			s.Broken("bound", fmt.Sprintf("%g of %d moves came about in time", s.Get("moves"), s.Moves))
+			s.AddViolation("bound", fmt.Sprintf("%g of %d moves came about in time", s.Metric("moves"), s.Moves))
 			break
 		}
-		if !rotated && s.Get("moves") > float64(s.Moves)/2 {
+		if !rotated && s.Metric("moves") > float64(s.Moves)/2 {
 			rotated = true
 			if err := s.rotate(); err != nil {
 				return err
@@ -62,7 +62,7 @@
 	// The end: faults heal, changes stop, and all that was ever said has to arrive.
 	fake.Sleep(ctx, 4*time.Second)
 	still()
-	fake.Sleep(ctx, freshness+testbed.OnSockets)
+	fake.Sleep(ctx, freshness+testbed.SocketDelay)
 	s.settled()
 	cancel()
 	return nil
@@ -73,9 +73,9 @@
 	if _, _, err := keyfile.New(s.keys, time.Now().Add(time.Second)); err != nil {
 		return err
 	}
-	s.Add("key rotations", 1)
+	s.AddMetric("key rotations", 1)
 	for _, n := range s.nodes {
-		n.Proc.Signal(syscall.SIGHUP)
+		n.Process.Signal(syscall.SIGHUP)
 	}
 	return s.loadKeys()
 }
--- a/internal/scenario/speed.go
+++ b/internal/scenario/speed.go
@@ -79,9 +79,9 @@
 	}
 	for name, list := range figures {
 		slices.Sort(list)
-		r.Set(name, list[len(list)/2])
+		r.SetMetric(name, list[len(list)/2])
 	}
-	r.Least("shared sockets: against the bare loop", atLeast)
+	r.RequireAtLeast("shared sockets: against the bare loop", atLeast)
 	return r, nil
 }
 
--- a/internal/scenario/speed_rates.go
+++ b/internal/scenario/speed_rates.go
@@ -20,9 +20,9 @@
 func speedOf(ctx context.Context, r *testbed.Result, w way, o UDPOptions, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	roster := fake.NewRoster()
+	roster := fake.NewDiscovery()
 	defer roster.Close()
-	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Witness: quiet{r}, Capacity: 1_000_000})
+	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Observer: quiet{r}, Capacity: 1_000_000})
 	addrs, err := server.Start([]string{"n0"})
 	if err != nil {
 		return 0, nil, err
@@ -54,7 +54,7 @@
 		}
 		own := operatorconfig.Default()
 		own.UDP.Listen, own.UDP.Mode, own.UDP.Proxy = listen, w.mode, w.proxy
-		node, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, Own: &own, Cores: o.Cores})
+		node, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, OperatorConfig: &own, Cores: o.Cores})
 		if err != nil {
 			return 0, nil, err
 		}
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -15,29 +15,29 @@
 
 // Agent is a member: the process beside one node.
 type Agent struct {
-	*Proc
+	*Process
 	Addr string // where it answers its node and operators
 }
 
 // Ask asks it as an operator does.
-func (a *Agent) Ask(ask, into any) error { return agentapi.Call(a.Addr, ask, into) }
+func (a *Agent) Call(ask, into any) error { return agentapi.Call(a.Addr, ask, into) }
 
 // agent returns the agent beside a node, which is not started yet.
-func (w *World) agent(n *Node, own *operatorconfig.File) *Agent {
-	p := &Proc{Name: "agent " + n.Name, Binary: w.Agent, Dir: n.Dir, Log: "agent.log",
+func (w *Testbed) agent(n *Node, own *operatorconfig.File) *Agent {
+	p := &Process{Name: "agent " + n.Name, Binary: w.Agent, Dir: n.Dir, Log: "agent.log",
 		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + w.Mutation}}
 	if w.Clock != nil {
 		p.Args = append(p.Args, "--clock-offset="+w.Clock(n.Name).String())
 	}
-	return &Agent{Proc: p, Addr: own.Fleet.Agent}
+	return &Agent{Process: p, Addr: own.Fleet.Agent}
 }
 
 // member writes what one member's file says, and opens its ways through the relay.
-func (w *World) member(name string, number int) (operatorconfig.File, error) {
+func (w *Testbed) member(name string, number int) (operatorconfig.File, error) {
 	own := operatorconfig.Default()
 	own.Log.Level = "warn"
-	bind, at, err := w.Party(name, number+1)
-	if err != nil || w.Alone {
+	bind, at, err := w.AddParty(name, number+1)
+	if err != nil || w.WithoutAgents {
 		return own, err
 	}
 	w.peers = append(w.peers, at)
@@ -47,7 +47,7 @@
 		return own, err
 	}
 	zone := w.Zone(name)
-	if bind, at, err = w.Party(name, number+1); err != nil {
+	if bind, at, err = w.AddParty(name, number+1); err != nil {
 		return own, err
 	}
 	own.Fleet.Zone = zone
@@ -60,22 +60,22 @@
 
 // Party opens a way through the relay for who speaks from a loopback address of its own: the
 // number says which, 1 to 250. It listens at bind and is reached at at.
-func (w *World) Party(name string, number int) (bind, at string, err error) {
+func (w *Testbed) AddParty(name string, number int) (bind, at string, err error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", number))
 	if err != nil {
 		return "", "", err
 	}
 	bind = l.Addr().String()
 	_ = l.Close()
-	at, err = w.Relay.Add(name, bind, fmt.Sprintf("127.0.6.%d", number))
+	at, err = w.Proxy.Add(name, bind, fmt.Sprintf("127.0.6.%d", number))
 	return bind, at, err
 }
 
 // Peers are the addresses at which members are reached.
-func (w *World) Peers() []string { return w.peers }
+func (w *Testbed) Peers() []string { return w.peers }
 
 // Fell kills a node with its agent, as a machine that is lost.
-func (w *World) Fell(name string) {
+func (w *Testbed) ServerFailed(name string) {
 	for _, n := range w.Nodes {
 		if n.Name == name {
 			n.Kill()
@@ -87,7 +87,7 @@
 }
 
 // Rise starts a node with its agent again.
-func (w *World) Rise(ctx context.Context, name string) error {
+func (w *Testbed) RestartServer(ctx context.Context, name string) error {
 	if a := w.Agents[name]; a != nil {
 		if err := a.Start(); err != nil {
 			return err
@@ -120,7 +120,7 @@
 
 // WhenIndex calls do as soon as an agent has an entry of the record that is at index or
 // later: index reads what it has. It is false where that takes too long.
-func WhenIndex(ctx context.Context, index func() uint64, at uint64, within time.Duration, do func()) bool {
+func AfterIndex(ctx context.Context, index func() uint64, at uint64, within time.Duration, do func()) bool {
 	_, came := Await(ctx, within, func() bool { return index() >= at })
 	if came {
 		do()
--- a/internal/scenario/testbed/cold.go
+++ b/internal/scenario/testbed/cold.go
@@ -4,19 +4,19 @@
 
 // Chance is what a window may be over its budget: starts and ends of tokens are seen on two
 // clocks' schedules, and a send counts when it arrives.
-const Chance = 1.1
+const ChanceAllowance = 1.1
 
 // budget is how many connections a server may be sent within a window, so long after its
 // start. A warm one can take what fills it: its usual share makes the usual load.
-func (w *World) budget(age time.Duration) float64 {
+func (w *Testbed) budget(age time.Duration) float64 {
 	return coldTimes * w.warm(age) * w.Rate / float64(w.Options.Servers) / UsualLoad * w.Window.Seconds()
 }
 
 // Against returns the most that a server that began cold was sent in any window, as a
 // multiple of what it may be sent, and its mean over the time.
-func (w *World) Against(server string, started, until time.Time) (most, mean float64) {
+func (w *Testbed) RequestsAgainst(server string, started, until time.Time) (most, mean float64) {
 	var at []time.Time
-	for _, l := range w.Lines(started, until) {
+	for _, l := range w.FirstLines(started, until) {
 		if l.Server == server {
 			at = append(at, l.At)
 		}
@@ -39,9 +39,9 @@
 
 // Dealt returns the most that a cold server was sent within one epoch, as a multiple of what
 // its members' parts come to: half of its budget, and a token of the fraction.
-func (w *World) Dealt(server string, started time.Time) (most float64) {
+func (w *Testbed) GrantedTokens(server string, started time.Time) (most float64) {
 	count := map[int64]float64{}
-	for _, l := range w.Lines(started, started.Add(w.Ramp)) {
+	for _, l := range w.FirstLines(started, started.Add(w.Ramp)) {
 		if l.Server == server {
 			count[l.At.UnixNano()/int64(w.Window)]++
 		}
--- a/internal/scenario/testbed/load.go
+++ b/internal/scenario/testbed/load.go
@@ -22,19 +22,19 @@
 
 // Pace sets the rate, in multiples of the usual: what is more than usual are clients that come
 // again.
-func (w *World) Pace(times float64) { w.pace(times, true) }
+func (w *Testbed) Pace(times float64) { w.pace(times, true) }
 
 // Surge sets the rate likewise, of clients that come for the first time.
-func (w *World) Surge(times float64) { w.pace(times, false) }
+func (w *Testbed) Surge(times float64) { w.pace(times, false) }
 
-func (w *World) pace(times float64, again bool) {
+func (w *Testbed) pace(times float64, again bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rate, w.again = times*w.Rate, again
 }
 
 // load opens transactions at the rate until ctx ends.
-func (w *World) load(ctx context.Context, wg *sync.WaitGroup) {
+func (w *Testbed) load(ctx context.Context, wg *sync.WaitGroup) {
 	rng := mrand.New(mrand.NewPCG(w.Options.Seed, 12))
 	room := make(chan struct{}, atOnce)
 	next := time.Now()
@@ -47,7 +47,7 @@
 		select {
 		case room <- struct{}{}:
 		default:
-			w.Add("not_sent_for_want_of_room", 1)
+			w.AddMetric("not_sent_for_want_of_room", 1)
 			continue
 		}
 		wg.Go(func() {
@@ -58,7 +58,7 @@
 }
 
 // transact is one client: it is owed one final answer in time, and stays for a moment.
-func (w *World) transact(ctx context.Context, id int, node, addr string, again bool) {
+func (w *Testbed) transact(ctx context.Context, id int, node, addr string, again bool) {
 	begun := time.Now()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -80,17 +80,17 @@
 	}
 	if err != nil {
 		if !w.Nodes.Gone(node, begun) {
-			w.Broken("answer", fmt.Sprintf("k%x at %s got no final answer: %v", id, node, err))
+			w.AddViolation("answer", fmt.Sprintf("k%x at %s got no final answer: %v", id, node, err))
 		}
 		return
 	}
 	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
 	w.mu.Lock()
-	w.answers = append(w.answers, Answer{node, w.zones[node], word, begun, took})
+	w.answers = append(w.answers, ClientAnswer{node, w.zones[node], word, begun, took})
 	w.mu.Unlock()
-	w.Add(strings.ToLower(word), 1)
-	if took > Patience+OnSockets {
-		w.Broken("answer", fmt.Sprintf("k%x at %s was answered after %v", id, node, took))
+	w.AddMetric(strings.ToLower(word), 1)
+	if took > Patience+SocketDelay {
+		w.AddViolation("answer", fmt.Sprintf("k%x at %s was answered after %v", id, node, took))
 	}
 	if word == "UP" {
 		fake.Sleep(ctx, stays)
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -28,7 +28,7 @@
 	Binary, Name, Dir, Discovery string
 	Number, Nodes                int
 	Mutation                     string
-	Own                          *operatorconfig.File // nil for none
+	OperatorConfig               *operatorconfig.File // nil for none
 	Cores                        int                  // 0 for 1
 	Sockets                      int                  // that it may use; 0 for 4096
 	Ramp                         int                  // seconds until a server is warm; 0 for 2
@@ -38,8 +38,8 @@
 // Node is one real node, a process of its own.
 type Node struct {
 	NodeOptions
-	Addr string
-	Proc *Proc
+	Addr    string
+	Process *Process
 
 	mu   sync.Mutex
 	gone time.Time // since when the front sends nobody there; zero while it does
@@ -62,10 +62,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{NodeOptions: o, Addr: addr, Proc: &Proc{Name: "node " + o.Name, Binary: o.Binary, Dir: o.Dir, Log: "log",
+	n := &Node{NodeOptions: o, Addr: addr, Process: &Process{Name: "node " + o.Name, Binary: o.Binary, Dir: o.Dir, Log: "log",
 		Env: []string{"BALANCER_CONFIG=" + filepath.Join(o.Dir, "config.json"), "CORALRELAY_SABOTAGE=" + o.Mutation}}}
-	if o.Own != nil {
-		n.Proc.Args = []string{"--config", filepath.Join(o.Dir, "operator.json")}
+	if o.OperatorConfig != nil {
+		n.Process.Args = []string{"--config", filepath.Join(o.Dir, "operator.json")}
 	}
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
@@ -76,8 +76,8 @@
 	if err := os.WriteFile(filepath.Join(o.Dir, "config.json"), []byte(platform), 0o600); err != nil {
 		return nil, err
 	}
-	if o.Own != nil {
-		raw, err := json.MarshalIndent(o.Own, "", "  ")
+	if o.OperatorConfig != nil {
+		raw, err := json.MarshalIndent(o.OperatorConfig, "", "  ")
 		if err != nil {
 			return nil, err
 		}
@@ -90,10 +90,10 @@
 
 // Start starts the node and waits until it accepts callers.
 func (n *Node) Start(ctx context.Context) error {
-	if err := n.Proc.Start(); err != nil {
+	if err := n.Process.Start(); err != nil {
 		return err
 	}
-	done := n.Proc.Done()
+	done := n.Process.Done()
 	for {
 		conn, err := net.DialTimeout("tcp", n.Addr, time.Second)
 		if err == nil {
@@ -102,7 +102,7 @@
 		}
 		select {
 		case <-done:
-			return fmt.Errorf("node %s ended at its start: %s", n.Name, n.Proc.Tail())
+			return fmt.Errorf("node %s ended at its start: %s", n.Name, n.Process.Tail())
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(5 * time.Millisecond):
@@ -117,7 +117,7 @@
 // Kill ends the node outright.
 func (n *Node) Kill() {
 	n.leave(0)
-	n.Proc.Kill()
+	n.Process.Kill()
 }
 
 // leave has the front send nobody to the node any more from so much later on. Start ends it.
@@ -138,19 +138,19 @@
 // Terminate asks the node to end, as a planned restart does, and waits until it has.
 func (n *Node) Terminate() error {
 	n.leave(300 * time.Millisecond) // the front notices a moment later, as the protocol has it
-	n.Proc.Signal(syscall.SIGTERM)
+	n.Process.Signal(syscall.SIGTERM)
 	select {
-	case <-n.Proc.Done():
+	case <-n.Process.Done():
 	case <-time.After(5 * time.Second):
 		n.Kill()
-		return fmt.Errorf("%s did not end within 5 s of SIGTERM", n.Proc.Name)
+		return fmt.Errorf("%s did not end within 5 s of SIGTERM", n.Process.Name)
 	}
 	return nil
 }
 
 // Resident is the node's resident memory in bytes, 0 if it can't be told.
 func (n *Node) Resident() float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Proc.Pid()))
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Process.Pid()))
 	var size, resident int64
 	if _, err2 := fmt.Sscan(string(raw), &size, &resident); err != nil || err2 != nil {
 		return 0
--- a/internal/scenario/testbed/nodes.go
+++ b/internal/scenario/testbed/nodes.go
@@ -35,7 +35,7 @@
 }
 
 // End ends all.
-func (ns Nodes) End() {
+func (ns Nodes) Terminate() {
 	for _, n := range ns {
 		n.Kill()
 	}
--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -15,9 +15,9 @@
 // Play has clients come at the rate, and plays steps one after another: the first in any
 // case, of the others those that are chosen, or all. Then every process must still run that
 // the scene has not ended.
-func (w *World) Play(ctx context.Context, steps []Step, chosen []string) error {
+func (w *Testbed) Play(ctx context.Context, steps []Phase, chosen []string) error {
 	for _, name := range chosen {
-		if !slices.ContainsFunc(steps, func(s Step) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(steps, func(s Phase) bool { return s.Name == name }) {
 			return fmt.Errorf("no step %q", name)
 		}
 	}
@@ -42,22 +42,22 @@
 		}
 	}
 	for _, n := range w.Nodes {
-		w.sound(n.Proc)
+		w.sound(n.Process)
 		if a := w.Agents[n.Name]; a != nil {
-			w.sound(a.Proc)
+			w.sound(a.Process)
 		}
 	}
 	return nil
 }
 
-func (w *World) sound(p *Proc) {
-	if err := p.Sound(); err != nil {
-		w.Broken("crash", err.Error())
+func (w *Testbed) sound(p *Process) {
+	if err := p.CheckExit(); err != nil {
+		w.AddViolation("crash", err.Error())
 	}
 }
 
 // report has servers tell the load that they are asked to bear, over the last two seconds.
-func (w *World) report(ctx context.Context) {
+func (w *Testbed) report(ctx context.Context) {
 	const over = 2 * time.Second
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
@@ -69,11 +69,11 @@
 		}
 		now := time.Now()
 		asked := map[string]float64{}
-		for _, l := range w.Lines(now.Add(-over), now) {
+		for _, l := range w.FirstLines(now.Add(-over), now) {
 			asked[l.Server]++
 		}
-		for _, v := range w.All() {
-			v.Report(max(0.01, asked[v.Name]/over.Seconds()/w.Bears(v, now)))
+		for _, v := range w.AllServers() {
+			v.SetLoad(max(0.01, asked[v.Name]/over.Seconds()/w.CapacityOf(v, now)))
 		}
 	}
 }
--- a/internal/scenario/testbed/proc.go
+++ b/internal/scenario/testbed/proc.go
@@ -15,7 +15,7 @@
 // Proc is a program that a scene starts, as often as it likes, and does harm to. Its log is
 // a file in Dir; it reaches it through a pipe, so that a disk that is full for the program
 // takes none of it.
-type Proc struct {
+type Process struct {
 	Name, Binary, Dir, Log string
 	Args, Env              []string // Env beside this process's own
 
@@ -26,7 +26,7 @@
 }
 
 // Start starts it.
-func (p *Proc) Start() error {
+func (p *Process) Start() error {
 	log, err := os.OpenFile(filepath.Join(p.Dir, p.Log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -47,7 +47,7 @@
 }
 
 // Signal sends a signal, if it runs.
-func (p *Proc) Signal(sig syscall.Signal) {
+func (p *Process) Signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
@@ -56,7 +56,7 @@
 }
 
 // Kill ends it outright, stopped or not, and waits until it is gone.
-func (p *Proc) Kill() {
+func (p *Process) Kill() {
 	p.mu.Lock()
 	p.meant = true
 	cmd, done := p.cmd, p.done
@@ -69,13 +69,13 @@
 
 // Stop holds it where it is, as a machine that has stalled: its sockets stay, and nothing
 // reads them. Cont lets it go on.
-func (p *Proc) Stop() { p.Signal(syscall.SIGSTOP) }
+func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
 
 // Cont lets it go on.
-func (p *Proc) Cont() { p.Signal(syscall.SIGCONT) }
+func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
 
 // Disk has every write of it to a file fail from now on, as on a full disk, or succeed again.
-func (p *Proc) Disk(full bool) error {
+func (p *Process) Disk(full bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
@@ -93,14 +93,14 @@
 }
 
 // Done is closed when it ends; nil before it was started.
-func (p *Proc) Done() <-chan struct{} {
+func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.done
 }
 
 // Pid is its process's number, 0 before it was started.
-func (p *Proc) Pid() int {
+func (p *Process) Pid() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
@@ -110,7 +110,7 @@
 }
 
 // Sound is an error, with the end of its log, where it has ended by itself.
-func (p *Proc) Sound() error {
+func (p *Process) CheckExit() error {
 	p.mu.Lock()
 	done, meant := p.done, p.meant
 	p.mu.Unlock()
@@ -126,7 +126,7 @@
 }
 
 // Tail is the end of its log.
-func (p *Proc) Tail() string {
+func (p *Process) Tail() string {
 	raw, _ := os.ReadFile(filepath.Join(p.Dir, p.Log)) // without one there is nothing to tell
 	return string(raw[max(0, len(raw)-600):])
 }
--- a/internal/scenario/testbed/result.go
+++ b/internal/scenario/testbed/result.go
@@ -26,11 +26,11 @@
 
 // Result is what a scene found.
 type Result struct {
-	Scene      string             `json:"scene"`
+	Scenario   string             `json:"scene"`
 	Seed       uint64             `json:"seed"`
 	OK         bool               `json:"ok"`
 	Violations []Violation        `json:"violations"`
-	Figures    map[string]float64 `json:"figures"`
+	Metrics    map[string]float64 `json:"figures"`
 	Scaled     string             `json:"scaled"`
 
 	mu    sync.Mutex
@@ -43,12 +43,12 @@
 
 // NewResult starts a scene.
 func NewResult(scene string, seed uint64) *Result {
-	return &Result{Scene: scene, Seed: seed, Violations: []Violation{}, Figures: map[string]float64{},
+	return &Result{Scenario: scene, Seed: seed, Violations: []Violation{}, Metrics: map[string]float64{},
 		begun: time.Now(), count: map[string]int{}}
 }
 
 // Broken notes that a rule broke.
-func (r *Result) Broken(rule, detail string) {
+func (r *Result) AddViolation(rule, detail string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.count[rule]++; r.count[rule] <= most {
@@ -60,30 +60,30 @@
 func (r *Result) Since() time.Duration { return time.Since(r.begun) }
 
 // Add adds to a figure.
-func (r *Result) Add(figure string, x float64) {
+func (r *Result) AddMetric(figure string, x float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Figures[figure] += x
+	r.Metrics[figure] += x
 }
 
 // Set sets a figure.
-func (r *Result) Set(figure string, x float64) {
+func (r *Result) SetMetric(figure string, x float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Figures[figure] = x
+	r.Metrics[figure] = x
 }
 
 // Get returns a figure.
-func (r *Result) Get(figure string) float64 {
+func (r *Result) Metric(figure string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Figures[figure]
+	return r.Metrics[figure]
 }
 
 // Least holds a figure to a bound: a scene that provoked nothing proves nothing.
-func (r *Result) Least(figure string, bound float64) {
-	if x := r.Get(figure); x < bound {
-		r.Broken("bound", fmt.Sprintf("%s is %g, at least %g is wanted", figure, x, bound))
+func (r *Result) RequireAtLeast(figure string, bound float64) {
+	if x := r.Metric(figure); x < bound {
+		r.AddViolation("bound", fmt.Sprintf("%s is %g, at least %g is wanted", figure, x, bound))
 	}
 }
 
@@ -94,9 +94,9 @@
 	defer r.mu.Unlock()
 	r.OK = len(r.Violations) == 0
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(t, "\n%s, seed %d\n", r.Scene, r.Seed)
-	for _, name := range slices.Sorted(maps.Keys(r.Figures)) {
-		fmt.Fprintf(t, "  %s\t%.6g\n", name, r.Figures[name])
+	fmt.Fprintf(t, "\n%s, seed %d\n", r.Scenario, r.Seed)
+	for _, name := range slices.Sorted(maps.Keys(r.Metrics)) {
+		fmt.Fprintf(t, "  %s\t%.6g\n", name, r.Metrics[name])
 	}
 	for _, rule := range slices.Sorted(maps.Keys(r.count)) {
 		fmt.Fprintf(t, "  BROKEN %s\t%d times\n", rule, r.count[rule])
--- a/internal/scenario/testbed/rules.go
+++ b/internal/scenario/testbed/rules.go
@@ -12,30 +12,30 @@
 	// DrainGrace is how long after it was told of a drain a node may send something new.
 	DrainGrace = 300 * time.Millisecond
 	// OnSockets is by how much the rules' times are longer there.
-	OnSockets = 50 * time.Millisecond
+	SocketDelay = 50 * time.Millisecond
 	// Patience is a client's, for its final answer.
 	Patience = 1800 * time.Millisecond
 )
 
 // HoldDrain holds what a server got to the drain rule: nothing new later than the
 // grace after that node was told.
-func (r *Result) HoldDrain(roster *fake.Roster, node, server, what string, at time.Time) {
-	told := roster.Told(node, server)
-	if late := at.Sub(told); !told.IsZero() && late > DrainGrace+OnSockets {
-		r.Broken("drain", fmt.Sprintf("%s got %s from %s %v after the node was told", server, what, node, late))
+func (r *Result) HoldDrain(roster *fake.Discovery, node, server, what string, at time.Time) {
+	told := roster.NotifiedAt(node, server)
+	if late := at.Sub(told); !told.IsZero() && late > DrainGrace+SocketDelay {
+		r.AddViolation("drain", fmt.Sprintf("%s got %s from %s %v after the node was told", server, what, node, late))
 	}
 }
 
 // Fall ends a server as a killed one ends. The roster notices a while later; later
 // still it is back at its address, cold and with a numbering of its own.
-func (r *Result) Fall(ctx context.Context, roster *fake.Roster, v *fake.Server, nodes []string, noticed, back time.Duration) {
+func (r *Result) FailServer(ctx context.Context, roster *fake.Discovery, v *fake.Server, nodes []string, noticed, back time.Duration) {
 	v.Kill()
 	fake.Sleep(ctx, noticed)
 	roster.Set(v.Name, fake.Left, time.Time{}, nil)
 	fake.Sleep(ctx, back)
 	addrs, err := v.Start(nodes)
 	if err != nil {
-		r.Broken("restart", err.Error())
+		r.AddViolation("restart", err.Error())
 		return
 	}
 	roster.Set(v.Name, fake.Active, time.Now(), addrs)
--- a/internal/scenario/testbed/seen.go
+++ b/internal/scenario/testbed/seen.go
@@ -9,34 +9,34 @@
 )
 
 // Line is a first line as a feed server saw it.
-type Line struct {
+type FirstLine struct {
 	Server, Zone, Node, Key string
 	At                      time.Time
 }
 
 // Answer is a final answer as a client saw it.
-type Answer struct {
+type ClientAnswer struct {
 	Node, Zone, Word string
 	Begun            time.Time
 	Took             time.Duration
 }
 
 // Opened is told of each first line.
-func (w *World) Opened(o fake.Opened) {
+func (w *Testbed) Opened(o fake.Opened) {
 	if w.Slow != nil {
 		defer func() { time.Sleep(w.Slow(o.Server)) }()
 	}
-	w.HoldDrain(w.Roster, o.Node, o.Server, o.Key, o.At)
+	w.HoldDrain(w.Discovery, o.Node, o.Server, o.Key, o.At)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lines = append(w.lines, Line{o.Server, w.zones[o.Server], o.Node, o.Key, o.At})
+	w.lines = append(w.lines, FirstLine{o.Server, w.zones[o.Server], o.Node, o.Key, o.At})
 }
 
 // Started is told of streams, which no client of a world asks for.
-func (w *World) Started(fake.Started) {}
+func (w *Testbed) Started(fake.Started) {}
 
 // Lines are those that came between two times.
-func (w *World) Lines(from, until time.Time) (list []Line) {
+func (w *Testbed) FirstLines(from, until time.Time) (list []FirstLine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, l := range slices.Backward(w.lines) {
@@ -48,30 +48,30 @@
 			list = append(list, l)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(list, func(a, b FirstLine) int { return a.At.Compare(b.At) })
 	return list
 }
 
 // Into are those of Lines that went into a zone.
-func (w *World) Into(zone string, from, until time.Time) []Line {
-	return slices.DeleteFunc(w.Lines(from, until), func(l Line) bool { return l.Zone != zone })
+func (w *Testbed) FirstLinesInto(zone string, from, until time.Time) []FirstLine {
+	return slices.DeleteFunc(w.FirstLines(from, until), func(l FirstLine) bool { return l.Zone != zone })
 }
 
 // Shares is what each server got between two times, over the mean of all.
-func (w *World) Shares(from, until time.Time) map[string]float64 {
-	share, list := map[string]float64{}, w.Lines(from, until)
+func (w *Testbed) Shares(from, until time.Time) map[string]float64 {
+	share, list := map[string]float64{}, w.FirstLines(from, until)
 	for _, l := range list {
 		share[l.Server]++
 	}
 	for id := range share {
-		share[id] /= float64(len(list)) / float64(len(w.All()))
+		share[id] /= float64(len(list)) / float64(len(w.AllServers()))
 	}
 	return share
 }
 
 // Served is the share of the transactions begun between two times that were served, and how
 // many there were.
-func (w *World) Served(from, until time.Time) (share float64, all int) {
+func (w *Testbed) Served(from, until time.Time) (share float64, all int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	up := 0
@@ -86,7 +86,7 @@
 }
 
 // Retried holds all first lines of the scene to the budget of retries.
-func (w *World) Retried() {
+func (w *Testbed) CountRetry() {
 	w.mu.Lock()
 	firsts := map[string]bool{}
 	for _, l := range w.lines {
@@ -95,10 +95,10 @@
 	all := float64(len(w.lines))
 	w.mu.Unlock()
 	share := (all - float64(len(firsts))) / float64(max(len(firsts), 1))
-	w.Set("retries_per_first", share)
-	w.Set("transactions_sent", float64(len(firsts)))
-	if most := 2*w.Retries + 0.01; !w.Alone && share > most {
-		w.Broken("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
+	w.SetMetric("retries_per_first", share)
+	w.SetMetric("transactions_sent", float64(len(firsts)))
+	if most := 2*w.Retries + 0.01; !w.WithoutAgents && share > most {
+		w.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
 	}
-	w.Least("transactions_sent", 300)
+	w.RequireAtLeast("transactions_sent", 300)
 }
--- a/internal/scenario/testbed/world.go
+++ b/internal/scenario/testbed/world.go
@@ -22,13 +22,13 @@
 
 // Options size a world. Binary is the node's; Agent is its agent's, beside it if empty.
 type Options struct {
-	Scene          string
+	Scenario       string
 	Seed           uint64
 	Nodes, Servers int
 	Zones          []string // nodes and servers are dealt to them in turn; empty for a alone
 	Voters         int      // the first so many agents decide what the record takes; 0 for no record
 	Rate           float64  // transactions a second in usual times
-	Alone          bool     // nodes have no agents
+	WithoutAgents  bool     // nodes have no agents
 	Links          bool     // nodes reach servers through the relay, too
 	Loads          bool     // servers report what they are asked; else a usual load
 	Binary, Agent  string
@@ -39,7 +39,7 @@
 	Hold         time.Duration // fleet.hold
 	Retries      float64       // fleet.retries
 	// Own completes what a member's file says, nil for nothing more.
-	Own func(name string, f *operatorconfig.File)
+	OperatorConfig func(name string, f *operatorconfig.File)
 	// Clock is how far the clock of a member's agent is ahead, nil for not at all.
 	Clock func(name string) time.Duration
 }
@@ -47,86 +47,86 @@
 // What the settings of all nodes say, and how full servers are in usual times.
 const (
 	// ColdFrom is the part of what it can do warm that a server can do as it starts.
-	ColdFrom  = 0.12
-	coldTimes = 3.0
+	SlowStartShare = 0.12
+	coldTimes      = 3.0
 	// UsualLoad is of a warm server: its usual share of the usual rate makes it.
 	UsualLoad = 0.3
 	warmLoad  = 0.29 // reported: a little under the least usual load, so that a draw decides
 )
 
 // World is one run of a scene.
-type World struct {
+type Testbed struct {
 	Options
 	*Result
-	Dir    string
-	Roster *fake.Roster
-	Relay  *faultproxy.Relay
-	Names  []string // of the nodes, and of their agents
-	Nodes  Nodes
-	Agents map[string]*Agent
-	Key    string                            // the fleet's key file
-	Fleet  operatorconfig.Fleet              // what all members have alike
-	Slow   func(server string) time.Duration // until a first line is answered; nil for at once
+	Dir       string
+	Discovery *fake.Discovery
+	Proxy     *faultproxy.Proxy
+	Names     []string // of the nodes, and of their agents
+	Nodes     Nodes
+	Agents    map[string]*Agent
+	Key       string                            // the fleet's key file
+	Fleet     operatorconfig.Fleet              // what all members have alike
+	Slow      func(server string) time.Duration // until a first line is answered; nil for at once
 
 	peers []string // where the relay takes members' messages
 	zones map[string]string
 
 	mu      sync.Mutex
 	servers []*Server
-	lines   []Line
-	answers []Answer
+	lines   []FirstLine
+	answers []ClientAnswer
 	rate    float64 // transactions a second now
 	again   bool    // those beyond the usual rate come again
 }
 
 // New builds a world and starts all of it but its clients. End ends it; where New fails,
 // nothing is left.
-func New(ctx context.Context, o Options) (*World, error) {
+func New(ctx context.Context, o Options) (*Testbed, error) {
 	if len(o.Zones) == 0 {
 		o.Zones = []string{"a"}
 	}
 	if o.Agent == "" {
-		o.Agent = Beside(o.Binary, "coralagent")
+		o.Agent = SiblingBinary(o.Binary, "coralagent")
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
-	w := &World{Options: o, Result: NewResult(o.Scene, o.Seed), Dir: dir, Roster: fake.NewRoster(), Relay: faultproxy.New(o.Seed),
+	w := &Testbed{Options: o, Result: NewResult(o.Scenario, o.Seed), Dir: dir, Discovery: fake.NewDiscovery(), Proxy: faultproxy.New(o.Seed),
 		Agents: map[string]*Agent{}, zones: map[string]string{}, rate: o.Rate}
 	if err := w.build(ctx); err != nil {
-		w.End()
+		w.Close()
 		return nil, err
 	}
 	return w, nil
 }
 
 // Beside is another program in the folder of one.
-func Beside(binary, name string) string { return filepath.Join(filepath.Dir(binary), name) }
+func SiblingBinary(binary, name string) string { return filepath.Join(filepath.Dir(binary), name) }
 
 // End ends all processes and stand-ins.
-func (w *World) End() {
-	w.Nodes.End()
+func (w *Testbed) Close() {
+	w.Nodes.Terminate()
 	for _, a := range w.Agents {
 		a.Kill()
 	}
-	w.Relay.Close()
-	w.Roster.Close()
-	for _, v := range w.All() {
+	w.Proxy.Close()
+	w.Discovery.Close()
+	for _, v := range w.AllServers() {
 		v.Kill()
 	}
 	_ = os.RemoveAll(w.Dir)
 }
 
 // Zone is where a node, an agent or a server stands.
-func (w *World) Zone(name string) string {
+func (w *Testbed) Zone(name string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.zones[name]
 }
 
 // In names the nodes of a zone; there says whether those in it or all others.
-func (w *World) In(zone string, there bool) (names []string) {
+func (w *Testbed) NodesIn(zone string, there bool) (names []string) {
 	for _, name := range w.Names {
 		if (w.Zone(name) == zone) == there {
 			names = append(names, name)
@@ -135,17 +135,17 @@
 	return names
 }
 
-func (w *World) place(name string, number int) string {
+func (w *Testbed) place(name string, number int) string {
 	zone := w.Zones[number%len(w.Zones)]
 	w.mu.Lock()
 	w.zones[name] = zone
 	w.mu.Unlock()
-	w.Relay.Place(name, zone)
+	w.Proxy.SetZone(name, zone)
 	return zone
 }
 
 // build makes the parties and starts them.
-func (w *World) build(ctx context.Context) error {
+func (w *Testbed) build(ctx context.Context) error {
 	if err := w.key(); err != nil {
 		return err
 	}
@@ -170,10 +170,10 @@
 	}
 	for i, name := range w.Names {
 		f := &own[i]
-		if !w.Alone {
+		if !w.WithoutAgents {
 			f.Fleet.Peers, f.Fleet.ReplicatedLog.Voters = w.peers, w.Fleet.ReplicatedLog.Voters
-			if w.Own != nil {
-				w.Own(name, f)
+			if w.OperatorConfig != nil {
+				w.OperatorConfig(name, f)
 			}
 		}
 		if err := w.start(ctx, name, i, f); err != nil {
@@ -183,7 +183,7 @@
 	return nil
 }
 
-func (w *World) key() error {
+func (w *Testbed) key() error {
 	raw := make([]byte, 32)
 	if _, err := rand.Read(raw); err != nil {
 		return err
@@ -193,17 +193,17 @@
 }
 
 // start starts a node with its agent.
-func (w *World) start(ctx context.Context, name string, number int, own *operatorconfig.File) error {
-	discovery, err := w.Roster.Listen(name)
+func (w *Testbed) start(ctx context.Context, name string, number int, own *operatorconfig.File) error {
+	discovery, err := w.Discovery.Listen(name)
 	if err != nil {
 		return err
 	}
 	n, err := NewNode(NodeOptions{Binary: w.Binary, Name: name, Dir: filepath.Join(w.Dir, name), Discovery: discovery, Number: number,
-		Nodes: w.Options.Nodes, Own: own, Mutation: w.Mutation, Ramp: int(w.Ramp.Seconds()), Zone: w.Zone(name)})
+		Nodes: w.Options.Nodes, OperatorConfig: own, Mutation: w.Mutation, Ramp: int(w.Ramp.Seconds()), Zone: w.Zone(name)})
 	if err != nil {
 		return err
 	}
-	if !w.Alone {
+	if !w.WithoutAgents {
 		a := w.agent(n, own)
 		if err := a.Start(); err != nil {
 			return err
@@ -215,7 +215,7 @@
 }
 
 // Step is a part of a scene's script.
-type Step struct {
+type Phase struct {
 	Name string
 	Do   func(ctx context.Context, rng *mrand.Rand) error
 }
--- a/internal/scenario/udp.go
+++ b/internal/scenario/udp.go
@@ -45,7 +45,7 @@
 type udpScene struct {
 	UDPOptions
 	*testbed.Result
-	roster  *fake.Roster
+	roster  *fake.Discovery
 	servers []*fake.Server
 	node    *testbed.Node
 
@@ -61,7 +61,7 @@
 // UDP plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
 func UDP(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
-	s := &udpScene{UDPOptions: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewRoster(),
+	s := &udpScene{UDPOptions: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewDiscovery(),
 		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
 	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
@@ -94,13 +94,13 @@
 	own.UDP.Silence.After.Duration = 500 * time.Millisecond
 	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
 	s.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
-		Nodes: 1, Mutation: o.Mutation, Own: &own, Cores: o.Cores, Sockets: o.Table + 2000})
+		Nodes: 1, Mutation: o.Mutation, OperatorConfig: &own, Cores: o.Cores, Sockets: o.Table + 2000})
 	if err != nil {
 		return nil, err
 	}
 	for i := range o.Servers {
 		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Witness: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
+			Observer: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
 			return nil, err
@@ -141,11 +141,11 @@
 					return
 				}
 				name := fmt.Sprintf("f%d", n)
-				answered, strange := fake.Beacon(ctx, to, name, uint32(n%clients), 3, 15*time.Millisecond)
-				s.Add("answered", float64(answered))
-				s.Add("sent", 3)
+				answered, strange := fake.ProbeFlow(ctx, to, name, uint32(n%clients), 3, 15*time.Millisecond)
+				s.AddMetric("answered", float64(answered))
+				s.AddMetric("sent", 3)
 				for _, text := range strange {
-					s.Broken("stray", fmt.Sprintf("%s got %q", name, text))
+					s.AddViolation("stray", fmt.Sprintf("%s got %q", name, text))
 				}
 				s.mu.Lock()
 				delete(s.at, name)
@@ -172,15 +172,15 @@
 		}
 		peak = max(peak, size)
 		if s.Progress != nil {
-			fmt.Fprintf(s.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), s.Get("drains"), s.Get("servers killed"), size/1e6)
+			fmt.Fprintf(s.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), s.Metric("drains"), s.Metric("servers killed"), size/1e6)
 		}
 	}
-	s.Set("node MB at most", peak/1e6)
+	s.SetMetric("node MB at most", peak/1e6)
 	if earlies > 0 && lates > 0 {
 		growth := late/float64(lates)/(early/float64(earlies)) - 1
-		s.Set("memory growth in the second half", growth)
+		s.SetMetric("memory growth in the second half", growth)
 		if growth > 0.1 && s.Flows >= 10*s.Table { // else the table may still be filling
-			s.Broken("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
+			s.AddViolation("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
 		}
 	}
 	cancel()
--- a/internal/scenario/udp_faults.go
+++ b/internal/scenario/udp_faults.go
@@ -23,11 +23,11 @@
 		case 1:
 			s.hang(ctx, v)
 		case 2:
-			s.Add("servers killed", 1)
-			s.Fall(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
+			s.AddMetric("servers killed", 1)
+			s.FailServer(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
 			s.mark(v.Name)
 		default:
-			s.Add("drains", 1)
+			s.AddMetric("drains", 1)
 			s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
 			fake.Sleep(ctx, 1200*time.Millisecond)
 			s.mark(v.Name)
@@ -38,7 +38,7 @@
 
 // hang has a server answer nothing for a while, but for its probes.
 func (s *udpScene) hang(ctx context.Context, v *fake.Server) {
-	s.Add("servers hung", 1)
+	s.AddMetric("servers hung", 1)
 	s.mu.Lock()
 	s.hung[v.Name] = time.Now()
 	s.mu.Unlock()
@@ -58,9 +58,9 @@
 		if d.At.Sub(since) < noticing {
 			continue
 		}
-		s.Add("while one was silent", 1)
+		s.AddMetric("while one was silent", 1)
 		if d.Server == server {
-			s.Add("to the silent one", 1)
+			s.AddMetric("to the silent one", 1)
 		}
 	}
 }
@@ -74,7 +74,7 @@
 // datagram holds what a server got to the rules.
 func (s *udpScene) datagram(d fake.Datagram) {
 	if strings.HasPrefix(d.Flow, "spoofed") {
-		s.Add("flood arrived", 1)
+		s.AddMetric("flood arrived", 1)
 		return
 	}
 	if strings.HasPrefix(d.Flow, "loud") {
@@ -82,19 +82,19 @@
 		defer s.mu.Unlock()
 		if _, known := s.at[d.Flow]; !known {
 			s.at[d.Flow] = d.Server
-			s.Add("one source's flows that went on", 1)
+			s.AddMetric("one source's flows that went on", 1)
 		}
 		return
 	}
 	s.HoldDrain(s.roster, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
-	s.Add("arrived", 1)
+	s.AddMetric("arrived", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.heard(d)
 	if was := s.at[d.Flow]; was != "" && was != d.Server {
-		s.Add("moved in mid-flow", 1)
+		s.AddMetric("moved in mid-flow", 1)
 		if ill := s.ill[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
-			s.Add("moved without a fault", 1)
+			s.AddMetric("moved without a fault", 1)
 		}
 	}
 	s.at[d.Flow] = d.Server
@@ -120,35 +120,35 @@
 		return fmt.Errorf("the node told no counts: %s", log)
 	}
 	for name, x := range counts {
-		s.Set("node: "+name, x)
+		s.SetMetric("node: "+name, x)
 	}
 	drops := counts["full"] + counts["limited"] + counts["queue"] + counts["refused"] + counts["unsent"] + counts["gone"]
 	if out := counts["forwarded"] + drops + counts["waiting"]; counts["in"] != out {
-		s.Broken("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", counts["in"], out))
+		s.AddViolation("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", counts["in"], out))
 	}
 	if forgotten := counts["expired"] + counts["evicted"] + counts["refused"]; forgotten < 0.95*counts["opened"] {
-		s.Broken("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
+		s.AddViolation("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
 	}
 	if s.Flood {
 		return nil
 	}
-	s.Set("share answered", s.Get("answered")/max(1, s.Get("sent")))
-	s.Set("share arrived", s.Get("arrived")/max(1, s.Get("sent")))
-	if s.Get("share arrived") < 0.9 {
-		s.Broken("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", s.Get("share arrived")))
+	s.SetMetric("share answered", s.Metric("answered")/max(1, s.Metric("sent")))
+	s.SetMetric("share arrived", s.Metric("arrived")/max(1, s.Metric("sent")))
+	if s.Metric("share arrived") < 0.9 {
+		s.AddViolation("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", s.Metric("share arrived")))
 	}
-	if all := s.Get("while one was silent"); all > 0 {
-		share := s.Get("to the silent one") / all * float64(s.Servers) // 1 is what it would get if it were like the others
-		s.Set("silent server's part of its share", share)
+	if all := s.Metric("while one was silent"); all > 0 {
+		share := s.Metric("to the silent one") / all * float64(s.Servers) // 1 is what it would get if it were like the others
+		s.SetMetric("silent server's part of its share", share)
 		if share > 0.5 {
-			s.Broken("silence", fmt.Sprintf("a server that answered nothing got %.2f of its share", share))
+			s.AddViolation("silence", fmt.Sprintf("a server that answered nothing got %.2f of its share", share))
 		}
 	}
-	s.Least("drains", 1)
-	s.Least("node: expired", 1)
+	s.RequireAtLeast("drains", 1)
+	s.RequireAtLeast("node: expired", 1)
 	if s.Flows >= 100_000 {
-		s.Least("servers killed", 1)
-		s.Least("while one was silent", 1)
+		s.RequireAtLeast("servers killed", 1)
+		s.RequireAtLeast("while one was silent", 1)
 	}
 	return nil
 }
--- a/internal/scenario/zones/checks.go
+++ b/internal/scenario/zones/checks.go
@@ -16,8 +16,8 @@
 // viewpoint that can't tell need not leave, as long as it sends nothing.
 func (s *scene) left(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
 	late := fault.Add(bound + slack)
-	s.Set(step+"_asked_before", float64(len(s.Into(zone, fault.Add(-time.Second), fault))))
-	s.Least(step+"_asked_before", 5) // else nobody had anything to leave
+	s.SetMetric(step+"_asked_before", float64(len(s.FirstLinesInto(zone, fault.Add(-time.Second), fault))))
+	s.RequireAtLeast(step+"_asked_before", 5) // else nobody had anything to leave
 	fake.Sleep(ctx, time.Until(late)+looksOn)
 	testbed.Await(ctx, time.Until(fault.Add(bound+decided)), func() bool {
 		left := s.watch.leaves(zone, fault)
@@ -33,7 +33,7 @@
 		}
 	}
 	if len(first) == 0 {
-		s.Broken("leave", fmt.Sprintf("%s: nobody had left %s %v after the fault", step, zone, time.Since(fault).Round(time.Millisecond)))
+		s.AddViolation("leave", fmt.Sprintf("%s: nobody had left %s %v after the fault", step, zone, time.Since(fault).Round(time.Millisecond)))
 	}
 	lastLine, stayed := time.Duration(0), 0.0
 	for _, name := range nodes {
@@ -46,11 +46,11 @@
 		spread := t.Sub(first[s.Zone(name)])
 		s.most(step+"_spread_ms", spread)
 		if spread > togetherBound+2*looks {
-			s.Broken("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, togetherBound))
+			s.AddViolation("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, togetherBound))
 		}
 	}
-	s.Set(step+"_not_left", max(s.Get(step+"_not_left"), stayed))
-	for _, l := range s.Into(zone, fault, time.Now()) {
+	s.SetMetric(step+"_not_left", max(s.Metric(step+"_not_left"), stayed))
+	for _, l := range s.FirstLinesInto(zone, fault, time.Now()) {
 		if !slices.Contains(nodes, l.Node) {
 			continue
 		}
@@ -58,9 +58,9 @@
 		begun := first[s.Zone(l.Node)]
 		switch {
 		case l.At.After(late):
-			s.Broken("leave", fmt.Sprintf("%s: %s sent %s a first line %v after the fault", step, l.Node, l.Server, lastLine))
+			s.AddViolation("leave", fmt.Sprintf("%s: %s sent %s a first line %v after the fault", step, l.Node, l.Server, lastLine))
 		case !begun.IsZero() && l.At.Sub(begun) > togetherBound+atOnce:
-			s.Broken("together", fmt.Sprintf("%s: %s sent %s a first line %v after the first of its zone had left", step, l.Node, l.Server, l.At.Sub(begun)))
+			s.AddViolation("together", fmt.Sprintf("%s: %s sent %s a first line %v after the first of its zone had left", step, l.Node, l.Server, l.At.Sub(begun)))
 		}
 	}
 	s.most(step+"_last_line_ms", lastLine)
@@ -76,22 +76,22 @@
 
 // most keeps the greatest of a figure, in ms.
 func (s *scene) most(figure string, d time.Duration) {
-	s.Set(figure, max(s.Get(figure), float64(d.Milliseconds())))
+	s.SetMetric(figure, max(s.Metric(figure), float64(d.Milliseconds())))
 }
 
 // stays holds some nodes to going on with a zone: they send it as much as before, but for
 // chance.
 func (s *scene) stays(step, zone string, nodes []string, from, until time.Time) {
 	n := 0
-	for _, l := range s.Into(zone, from, until) {
+	for _, l := range s.FirstLinesInto(zone, from, until) {
 		if slices.Contains(nodes, l.Node) {
 			n++
 		}
 	}
 	usual := s.rate / float64(len(s.Names)) * float64(len(nodes)) / float64(len(s.Zones)) * until.Sub(from).Seconds()
-	s.Set(step+"_goes_on", float64(n)/usual)
+	s.SetMetric(step+"_goes_on", float64(n)/usual)
 	if float64(n) < 0.4*usual {
-		s.Broken("viewpoint", fmt.Sprintf("%s: those who reach %s sent it %d first lines, about %.0f are usual", step, zone, n, usual))
+		s.AddViolation("viewpoint", fmt.Sprintf("%s: those who reach %s sent it %d first lines, about %.0f are usual", step, zone, n, usual))
 	}
 }
 
@@ -101,10 +101,10 @@
 	const window = time.Second
 	bears := 0.0
 	for _, v := range list {
-		bears += s.Bears(v, until)
+		bears += s.CapacityOf(v, until)
 	}
 	var at []time.Time
-	for _, l := range s.Lines(from, until) {
+	for _, l := range s.FirstLines(from, until) {
 		if slices.ContainsFunc(list, func(v *testbed.Server) bool { return v.Name == l.Server }) {
 			at = append(at, l.At)
 		}
@@ -116,9 +116,9 @@
 		}
 		most = max(most, float64(i-first+1)/bears/window.Seconds())
 	}
-	s.Set(step+"_survivors_most_of_budget", most)
+	s.SetMetric(step+"_survivors_most_of_budget", most)
 	if most > survivors {
-		s.Broken("panic", fmt.Sprintf("%s: those that stay were sent %.2f times what they bear within %v", step, most, window))
+		s.AddViolation("panic", fmt.Sprintf("%s: those that stay were sent %.2f times what they bear within %v", step, most, window))
 	}
 }
 
@@ -133,6 +133,6 @@
 	}
 	s.most(step+"_return_ms", took)
 	if !came {
-		s.Broken("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watch.say()))
+		s.AddViolation("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watch.say()))
 	}
 }
--- a/internal/scenario/zones/links.go
+++ b/internal/scenario/zones/links.go
@@ -24,11 +24,11 @@
 func (s *scene) link(ctx context.Context, _ *mrand.Rand) error {
 	from, to := s.victim(), s.victim()
 	begun := time.Now()
-	s.Relay.OneWay(s.In(from, true), append(named(s.Of(to)), s.In(to, true)...), cut)
-	s.left(ctx, "link", to, s.In(from, true), begun, leaveBound)
-	s.stays("link", to, s.In(from, false), begun.Add(leaveBound), time.Now())
+	s.Proxy.SetOneWay(s.NodesIn(from, true), append(named(s.ServersIn(to)), s.NodesIn(to, true)...), cut)
+	s.left(ctx, "link", to, s.NodesIn(from, true), begun, leaveBound)
+	s.stays("link", to, s.NodesIn(from, false), begun.Add(leaveBound), time.Now())
 	s.notLeft("link", begun, func(p agentapi.Seen) bool { return p.From != from || p.To != to })
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.comesBack(ctx, "link")
 	return nil
 }
@@ -41,14 +41,14 @@
 		to = s.victim()
 	}
 	begun := time.Now()
-	s.Relay.OneWay(s.Names[:1], named(s.Of(to)), cut)
+	s.Proxy.SetOneWay(s.Names[:1], named(s.ServersIn(to)), cut)
 	fake.Sleep(ctx, aloneBound)
 	s.stays("one", to, s.Names[1:], begun.Add(leaveBound/2), time.Now())
 	s.notLeft("one", begun, func(p agentapi.Seen) bool { return true })
 	for name := range s.watch.leaves(to, begun) {
-		s.Broken("together", fmt.Sprintf("one: %s, which hears the record, left %s by itself", name, to))
+		s.AddViolation("together", fmt.Sprintf("one: %s, which hears the record, left %s by itself", name, to))
 	}
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.comesBack(ctx, "one")
 	return nil
 }
@@ -56,17 +56,17 @@
 // self cuts a zone's nodes off from the servers of all others: it accuses nobody.
 func (s *scene) self(ctx context.Context, _ *mrand.Rand) error {
 	from := s.victim()
-	others := slices.DeleteFunc(s.All(), func(v *testbed.Server) bool { return v.Zone == from })
+	others := slices.DeleteFunc(s.AllServers(), func(v *testbed.Server) bool { return v.Zone == from })
 	begun := time.Now()
-	s.Relay.OneWay(s.In(from, true), named(others), cut)
+	s.Proxy.SetOneWay(s.NodesIn(from, true), named(others), cut)
 	fake.Sleep(ctx, leaveBound+slack)
 	for _, zone := range s.Zones {
 		if zone != from {
-			s.stays("self", zone, s.In(from, false), begun.Add(leaveBound/2), time.Now())
+			s.stays("self", zone, s.NodesIn(from, false), begun.Add(leaveBound/2), time.Now())
 		}
 	}
 	s.notLeft("self", begun, func(p agentapi.Seen) bool { return true })
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	s.comesBack(ctx, "self")
 	return nil
 }
@@ -81,7 +81,7 @@
 	}
 	zone := s.victim()
 	begun := time.Now()
-	spoil(s.Of(zone), fake.Silent)
+	spoil(s.ServersIn(zone), fake.Unresponsive)
 	fake.Sleep(ctx, time.Duration(200+rng.IntN(600))*time.Millisecond)
 	if err := a.Disk(true); err != nil {
 		return err
@@ -89,17 +89,17 @@
 	s.left(ctx, "disk", zone, s.Names, begun, leaveBound+electionBound)
 	state, _ := s.watch.state(leader)
 	if next := s.watch.leader(); next == "" || next == leader || state.Disk == "" {
-		s.Broken("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.Disk, state.Role, next))
+		s.AddViolation("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.Disk, state.Role, next))
 	}
 	if err := a.Disk(false); err != nil {
 		return err
 	}
-	spoil(s.Of(zone), fake.Sound)
+	spoil(s.ServersIn(zone), fake.Healthy)
 	s.comesBack(ctx, "disk")
 	took, came := testbed.Await(ctx, 5*time.Second, func() bool { state, _ = s.watch.state(leader); return state.Disk == "" })
 	s.most("disk_writes_again_ms", took)
 	if !came && ctx.Err() == nil {
-		s.Broken("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.Disk))
+		s.AddViolation("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.Disk))
 	}
 	return nil
 }
@@ -111,21 +111,21 @@
 		return fmt.Errorf("leader: nobody leads: %s", s.watch.say())
 	}
 	begun := time.Now()
-	lost := s.In(zone, true)
+	lost := s.NodesIn(zone, true)
 	for _, name := range lost {
-		s.Fell(name)
+		s.ServerFailed(name)
 	}
-	list := s.Of(zone)
-	if err := s.dies(ctx, "leader", list, s.In(zone, false), begun, leaveBound+electionBound); err != nil {
+	list := s.ServersIn(zone)
+	if err := s.dies(ctx, "leader", list, s.NodesIn(zone, false), begun, leaveBound+electionBound); err != nil {
 		return err
 	}
 	for _, name := range lost {
-		if err := s.Rise(ctx, name); err != nil {
+		if err := s.RestartServer(ctx, name); err != nil {
 			return err
 		}
 	}
 	for _, v := range list {
-		s.Chill(v)
+		s.MarkCold(v)
 	}
 	s.comesBack(ctx, "leader")
 	return nil
@@ -137,16 +137,16 @@
 	name := s.Names[len(s.Names)-1]
 	others := s.Names[:len(s.Names)-1]
 	zone := s.victim(s.Zone(name)) // nobody alone leaves his own
-	s.Relay.Between([]string{name}, others, cut)
+	s.Proxy.SetBetween([]string{name}, others, cut)
 	fake.Sleep(ctx, lease+slack)
 	if state, _ := s.watch.state(name); state.Fresh {
-		s.Broken("lone", fmt.Sprintf("%s hears the record through a cut", name))
+		s.AddViolation("lone", fmt.Sprintf("%s hears the record through a cut", name))
 	}
 	begun := time.Now()
-	spoil(s.Of(zone), fake.Silent)
+	spoil(s.ServersIn(zone), fake.Unresponsive)
 	s.left(ctx, "lone_others", zone, others, begun, leaveBound)
 	s.left(ctx, "lone", zone, []string{name}, begun, aloneBound)
-	s.Relay.Heal()
+	s.Proxy.Heal()
 	healed := time.Now()
 	_, came := testbed.Await(ctx, 8*time.Second, func() bool {
 		state, _ := s.watch.state(name)
@@ -155,9 +155,9 @@
 	})
 	s.most("lone_rejoins_ms", time.Since(healed))
 	if !came && ctx.Err() == nil {
-		s.Broken("lone", fmt.Sprintf("%s does not hear the record again: %s", name, s.watch.say()))
+		s.AddViolation("lone", fmt.Sprintf("%s does not hear the record again: %s", name, s.watch.say()))
 	}
-	spoil(s.Of(zone), fake.Sound)
+	spoil(s.ServersIn(zone), fake.Healthy)
 	s.comesBack(ctx, "lone")
 	return nil
 }
--- a/internal/scenario/zones/steps.go
+++ b/internal/scenario/zones/steps.go
@@ -13,9 +13,9 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-func spoil(list []*testbed.Server, way fake.Spoilt) {
+func spoil(list []*testbed.Server, way fake.FaultMode) {
 	for _, v := range list {
-		v.Spoil(way)
+		v.SetFault(way)
 	}
 }
 
@@ -24,9 +24,9 @@
 func (s *scene) silent(ctx context.Context, _ *mrand.Rand) error {
 	zone := s.victim()
 	begun := time.Now()
-	spoil(s.Of(zone), fake.Silent)
+	spoil(s.ServersIn(zone), fake.Unresponsive)
 	s.left(ctx, "silent", zone, s.Names, begun, leaveBound)
-	spoil(s.Of(zone), fake.Sound)
+	spoil(s.ServersIn(zone), fake.Healthy)
 	s.comesBack(ctx, "silent")
 	return nil
 }
@@ -34,31 +34,31 @@
 // cold kills all servers of a zone, and has them all back at once, cold.
 func (s *scene) cold(ctx context.Context, _ *mrand.Rand) error {
 	zone := s.victim()
-	list, begun := s.Of(zone), time.Now()
+	list, begun := s.ServersIn(zone), time.Now()
 	if err := s.dies(ctx, "cold", list, s.Names, begun, leaveBound); err != nil {
 		return err
 	}
 	back := time.Now()
 	for _, v := range list {
-		s.Chill(v)
+		s.MarkCold(v)
 	}
 	s.comesBack(ctx, "cold")
 	steps := map[int]bool{}
 	for _, p := range s.watch.seen(back, func(p agentapi.Seen) bool { return p.To == zone && p.Step > 0 }) {
 		steps[p.Step] = true
 	}
-	s.Set("cold_steps_seen", float64(len(steps)))
-	s.Least("cold_steps_seen", 3)
+	s.SetMetric("cold_steps_seen", float64(len(steps)))
+	s.RequireAtLeast("cold_steps_seen", 3)
 	most := 0.0
 	for _, v := range list {
-		x, _ := s.Against(v.Name, back, time.Now())
+		x, _ := s.RequestsAgainst(v.Name, back, time.Now())
 		most = max(most, x)
 	}
-	s.Set("cold_most_of_budget", most)
-	if most > testbed.Chance {
-		s.Broken("cold", fmt.Sprintf("a server that came back cold was sent %.2f times what it may be within %v", most, window))
+	s.SetMetric("cold_most_of_budget", most)
+	if most > testbed.ChanceAllowance {
+		s.AddViolation("cold", fmt.Sprintf("a server that came back cold was sent %.2f times what it may be within %v", most, window))
 	}
-	s.Least("cold_most_of_budget", 0.02) // else nobody came back
+	s.RequireAtLeast("cold_most_of_budget", 0.02) // else nobody came back
 	return nil
 }
 
@@ -69,7 +69,7 @@
 		return err
 	}
 	fake.Sleep(ctx, time.Until(begun.Add(bound+slack)))
-	if err := s.StartServers(list, fake.Silent); err != nil {
+	if err := s.StartServers(list, fake.Unresponsive); err != nil {
 		return err
 	}
 	s.left(ctx, step, list[0].Zone, nodes, begun, bound)
@@ -79,7 +79,7 @@
 // half kills half of a zone's servers: it is sent less, and is not left.
 func (s *scene) half(ctx context.Context, _ *mrand.Rand) error {
 	zone := s.victim()
-	all, begun := s.Of(zone), time.Now()
+	all, begun := s.ServersIn(zone), time.Now()
 	dead, sound := all[:(len(all)+1)/2], all[(len(all)+1)/2:]
 	if err := s.KillServers(dead); err != nil {
 		return err
@@ -89,23 +89,23 @@
 	fake.Sleep(ctx, 1500*time.Millisecond)
 	s.within("half", sound, from, time.Now())
 	got := 0
-	for _, l := range s.Into(zone, from, time.Now()) {
+	for _, l := range s.FirstLinesInto(zone, from, time.Now()) {
 		if slices.ContainsFunc(sound, func(v *testbed.Server) bool { return v.Name == l.Server }) {
 			got++
 		}
 	}
-	usual := s.rate / float64(len(s.All())) * float64(len(sound)) * time.Since(from).Seconds()
-	s.Set("half_sound_share", float64(got)/usual)
+	usual := s.rate / float64(len(s.AllServers())) * float64(len(sound)) * time.Since(from).Seconds()
+	s.SetMetric("half_sound_share", float64(got)/usual)
 	if float64(got) < 0.3*usual {
-		s.Broken("half", fmt.Sprintf("the sound servers of %s got %d first lines, about %.0f are usual", zone, got, usual))
+		s.AddViolation("half", fmt.Sprintf("the sound servers of %s got %d first lines, about %.0f are usual", zone, got, usual))
 	}
 	s.notLeft("half", begun, func(p agentapi.Seen) bool { return p.To == zone })
 	least := 1.0
 	for _, p := range s.watch.seen(begun, func(p agentapi.Seen) bool { return p.To == zone }) {
 		least = min(least, p.Share)
 	}
-	s.Set("half_least_share", least)
-	if err := s.StartServers(dead, fake.Sound); err != nil {
+	s.SetMetric("half_least_share", least)
+	if err := s.StartServers(dead, fake.Healthy); err != nil {
 		return err
 	}
 	s.comesBack(ctx, "half")
@@ -115,7 +115,7 @@
 // notLeft holds the record to having left none of some pairs.
 func (s *scene) notLeft(step string, since time.Time, pairs func(p agentapi.Seen) bool) {
 	for _, p := range s.watch.seen(since, func(p agentapi.Seen) bool { return pairs(p) && gone(p.Posture) }) {
-		s.Broken("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.From, p.To))
+		s.AddViolation("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.From, p.To))
 		return
 	}
 }
@@ -124,17 +124,17 @@
 // refused.
 func (s *scene) two(ctx context.Context, _ *mrand.Rand) error {
 	one, other := s.victim(), s.victim()
-	stay := s.Of(slices.DeleteFunc(slices.Clone(s.Zones), func(z string) bool { return z == one || z == other })...)
+	stay := s.ServersIn(slices.DeleteFunc(slices.Clone(s.Zones), func(z string) bool { return z == one || z == other })...)
 	// So much that it would make those that stay twice as full as they may be.
-	s.Surge(2 * float64(len(stay)) / float64(len(s.All())) / testbed.UsualLoad)
+	s.Surge(2 * float64(len(stay)) / float64(len(s.AllServers())) / testbed.UsualLoad)
 	fake.Sleep(ctx, 3*time.Second) // seen by the record
 	begun := time.Now()
-	lost := s.Of(one, other)
+	lost := s.ServersIn(one, other)
 	if err := s.KillServers(lost); err != nil {
 		return err
 	}
 	fake.Sleep(ctx, leaveBound+slack)
-	if err := s.StartServers(lost, fake.Silent); err != nil {
+	if err := s.StartServers(lost, fake.Unresponsive); err != nil {
 		return err
 	}
 	from := time.Now()
@@ -142,14 +142,14 @@
 	s.left(ctx, "two", other, s.Names, begun, leaveBound)
 	fake.Sleep(ctx, time.Second)
 	s.within("two", stay, from, time.Now())
-	s.Least("two_survivors_most_of_budget", 0.5) // else nothing was asked of them
+	s.RequireAtLeast("two_survivors_most_of_budget", 0.5) // else nothing was asked of them
 	// The nodes' own rules keep those that stay from harm as well; what the record says is over
 	// is what the fleet refuses as one.
-	s.Set("two_over", s.watch.over(begun))
-	s.Least("two_over", 0.05)
+	s.SetMetric("two_over", s.watch.over(begun))
+	s.RequireAtLeast("two_over", 0.05)
 	s.Surge(1)
 	for _, v := range lost {
-		s.Chill(v)
+		s.MarkCold(v)
 	}
 	s.comesBack(ctx, "two")
 	return nil
@@ -165,9 +165,9 @@
 		if n > 0 {
 			fake.Sleep(ctx, every)
 		}
-		spoil(s.Of(zone), fake.Silent)
+		spoil(s.ServersIn(zone), fake.Unresponsive)
 		fake.Sleep(ctx, every)
-		spoil(s.Of(zone), fake.Sound)
+		spoil(s.ServersIn(zone), fake.Healthy)
 		for _, from := range s.Zones {
 			twice = twice || len(s.leftAt(from, zone, begun, every)) > 1
 		}
@@ -175,17 +175,17 @@
 	fake.Sleep(ctx, hold-leaveBound/2) // it serves, and is held all the same
 	for _, from := range s.Zones {
 		left := s.leftAt(from, zone, begun, every)
-		s.Set("flap_left", max(s.Get("flap_left"), float64(len(left))))
+		s.SetMetric("flap_left", max(s.Metric("flap_left"), float64(len(left))))
 		if len(left) < 2 {
 			continue
 		}
-		for _, l := range s.Into(zone, left[1].Add(togetherBound+atOnce), left[1].Add(hold)) {
+		for _, l := range s.FirstLinesInto(zone, left[1].Add(togetherBound+atOnce), left[1].Add(hold)) {
 			if s.Zone(l.Node) == from {
-				s.Broken("hold", fmt.Sprintf("%s was sent a first line by %s %v after it had failed again", zone, l.Node, l.At.Sub(left[1])))
+				s.AddViolation("hold", fmt.Sprintf("%s was sent a first line by %s %v after it had failed again", zone, l.Node, l.At.Sub(left[1])))
 			}
 		}
 	}
-	s.Least("flap_left", 2) // else nothing was held
+	s.RequireAtLeast("flap_left", 2) // else nothing was held
 	s.comesBack(ctx, "flap")
 	return nil
 }
--- a/internal/scenario/zones/watch.go
+++ b/internal/scenario/zones/watch.go
@@ -56,7 +56,7 @@
 		w.wg.Go(func() {
 			for {
 				var state agentapi.State
-				err := a.Ask(agentapi.Ask{Ask: "state"}, &state)
+				err := a.Call(agentapi.Ask{Ask: "state"}, &state)
 				w.heard(name, state, err == nil)
 				if !fake.Sleep(ctx, looks) {
 					return
--- a/internal/scenario/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -62,7 +62,7 @@
 
 // scene is one run.
 type scene struct {
-	*testbed.World
+	*testbed.Testbed
 	watch *watchers
 	rate  float64
 	next  int // whose turn it is to fail
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer built.End()
+	defer built.Close()
 	s := &scene{built, newWatchers(built.Agents), o.Rate, int(o.Seed % uint64(o.Zones))}
 	defer s.watch.end()
 	s.Scaled = fmt.Sprintf("%d nodes in %d zones, all on one machine; a server is warm after %v, a step of a return takes %v, a zone that fails twice is held for %v",
@@ -99,17 +99,17 @@
 
 // options is the scene's world.
 func options(o Options) testbed.Options {
-	w := testbed.Options{Scene: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
+	w := testbed.Options{Scenario: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
 		Binary: o.Binary, Mutation: o.Mutation, Progress: o.Progress, Ramp: ramp, Window: window, Hold: 3 * time.Second, Retries: retries}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
-	w.Own = func(_ string, f *operatorconfig.File) {
+	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
 		z.Steady, z.Hold, z.HoldMost, z.Quiet = of(steady), of(hold), of(2*hold), of(2*hold)
 		z.Gap, z.Ramp, z.Skew = of(2*time.Second), of(ramp), of(skew)
-		z.Cold, z.Bears = testbed.ColdFrom, o.Rate/float64(o.Servers)/testbed.UsualLoad
+		z.Cold, z.Bears = testbed.SlowStartShare, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.ReplicatedLog.Lease = of(lease)
 	}
 	w.Clock = func(name string) time.Duration {
@@ -124,8 +124,8 @@
 func of(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
 
 // steps is the script.
-func (s *scene) steps() (all []testbed.Step) {
-	for _, step := range []testbed.Step{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "silent", Do: s.silent},
+func (s *scene) steps() (all []testbed.Phase) {
+	for _, step := range []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "silent", Do: s.silent},
 		{Name: "link", Do: s.link}, {Name: "half", Do: s.half}, {Name: "one", Do: s.one}, {Name: "self", Do: s.self}, {Name: "disk", Do: s.disk},
 		{Name: "leader", Do: s.leader}, {Name: "lone", Do: s.lone}, {Name: "two", Do: s.two}, {Name: "flap", Do: s.flap}} {
 		do := step.Do
@@ -150,10 +150,10 @@
 	if !ok {
 		least = leastServed[""]
 	}
-	s.Set(step+"_served", share)
-	s.Set(step+"_s", until.Sub(from).Seconds())
+	s.SetMetric(step+"_served", share)
+	s.SetMetric(step+"_s", until.Sub(from).Seconds())
 	if share < least {
-		s.Broken("served", fmt.Sprintf("%s: %.3f of %d transactions were served, want %.2f at least", step, share, all, least))
+		s.AddViolation("served", fmt.Sprintf("%s: %.3f of %d transactions were served, want %.2f at least", step, share, all, least))
 	}
 }
 
