--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -15,7 +15,7 @@
 // startFleet keeps the node to the fleet's budgets and routes, as its agent tells them, if one
 // is named. While the agent can't be reached the node goes on by itself. It is called before
 // the Core runs.
-func startFleet(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, core *dispatch.Core) error {
+func startFleet(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, core *dispatch.EventLoop) error {
 	if f.Agent == "" || mutation.Enabled("deaf") {
 		return nil
 	}
--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -15,7 +15,7 @@
 // fleet passes a list on: first the addresses, then the decision.
 type fleet struct {
 	hops  *upstream.Hops
-	core  *dispatch.Core
+	core  *dispatch.EventLoop
 	udp   udp.Listeners // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
 	once  sync.Once
@@ -35,7 +35,7 @@
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
 		f.listed(f.hops.Listed())
 	}
-	f.core.Listed(u.List())
+	f.core.UpdateEndpoints(u.List())
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
 		f.once.Do(func() { close(f.known) })
 	}
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -135,21 +135,21 @@
 // successor goes on with what another process hands over.
 type successor struct {
 	*downstream.Server
-	core *dispatch.Core
+	core *dispatch.EventLoop
 }
 
-func (s successor) Learn(m balance.LearnedState) { s.core.Learn(m) }
+func (s successor) Learn(m balance.LearnedState) { s.core.ImportLearnedState(m) }
 
 // operations are what operators may ask of the node.
 type operations struct {
 	*downstream.Server
 	hops *upstream.Hops
-	core *dispatch.Core
+	core *dispatch.EventLoop
 	book *metrics.Registry
 }
 
 func (o operations) Metrics() string {
-	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.Avoided()})
+	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.AvoidedCount()})
 }
 
 func (o operations) LameDuck() {
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -15,7 +15,7 @@
 // promises counts response times by contract and region, for those who decide where
 // contracts go. What is below now belongs to the Core's goroutine.
 type promises struct {
-	core  *dispatch.Core
+	core  *dispatch.EventLoop
 	zones map[string]string // the region of each zone that is in one
 	now   func() time.Duration
 
@@ -26,7 +26,7 @@
 }
 
 // countPromises has the link tell what the node measures, where contracts are kept.
-func countPromises(l *agentapi.Link, f operatorconfig.Fleet, core *dispatch.Core) {
+func countPromises(l *agentapi.Link, f operatorconfig.Fleet, core *dispatch.EventLoop) {
 	if !f.SLO.Enabled {
 		return
 	}
@@ -37,7 +37,7 @@
 			p.zones[zone] = region
 		}
 	}
-	core.Time(p.timed)
+	core.SetAttemptObserver(p.timed)
 	say, take := l.Say, l.Take
 	l.Say = func() agentapi.Said { s := say(); p.say(&s); return s }
 	l.Take = func(t agentapi.Told) { take(t); p.take(t.Promised) }
@@ -69,7 +69,7 @@
 			at[hop.ID] = hop.Zone
 		}
 	}
-	p.core.Inside(func(time.Duration) {
+	p.core.RunOnLoop(func(time.Duration) {
 		p.at = at
 		p.over(p.tally.Turn(p.now()))
 		s.Samples, s.Contracts, p.done = p.done, p.known, nil
@@ -88,7 +88,7 @@
 			s.Contracts = append(s.Contracts, slo.Contract{Name: c.Name, Priority: c.Priority})
 		}
 	}
-	p.core.Inside(func(time.Duration) {
+	p.core.RunOnLoop(func(time.Duration) {
 		p.tally.Know(s)
 		p.known = told.Version
 	})
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -18,7 +18,7 @@
 
 // live is the platform's configuration that is in force, and who goes by it.
 type live struct {
-	core   *dispatch.Core
+	core   *dispatch.EventLoop
 	hops   *upstream.Hops
 	server *downstream.Server
 	watch  *discovery.Watch
@@ -49,7 +49,7 @@
 	if lives {
 		l.current.Settings.Processes = 2
 	}
-	l.core.Retune(l.current.Settings)
+	l.core.UpdateSettings(l.current.Settings)
 }
 
 // reload reads the platform's configuration again: all of a file takes force, or none.
@@ -69,7 +69,7 @@
 	next.Settings = platform.ForWatch(next.Settings)
 	next.Settings.Processes = c.Settings.Processes // not the file's to say
 	l.take(next)
-	l.core.Retune(next.Settings)
+	l.core.UpdateSettings(next.Settings)
 	l.watch.Follow(next.Discovery)
 	l.book.ConfigsAccepted.Add(1)
 	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery, "classes", len(next.Settings.Classes))
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -26,7 +26,7 @@
 // routes are the operators' routes and the rights on them, as the agent tells them. It is a
 // decide.Router. What the agent says is taken on the link's goroutine, and set for the Core's.
 type routes struct {
-	core *dispatch.Core
+	core *dispatch.EventLoop
 	half time.Duration // half of an epoch
 
 	// Of the link's goroutine.
@@ -45,7 +45,7 @@
 }
 
 // newRoutes returns routes without a table: all goes anywhere.
-func newRoutes(core *dispatch.Core, cfg account.DealConfig) (*routes, error) {
+func newRoutes(core *dispatch.EventLoop, cfg account.DealConfig) (*routes, error) {
 	ledger, err := route.NewLedger(cfg)
 	if err != nil {
 		return nil, err
@@ -90,12 +90,12 @@
 }
 
 // Spent implements decide.Router.
-func (r *routes) Spent(on *route.Route, again, probes int) {
+func (r *routes) AddUsage(on *route.Route, again, probes int) {
 	r.ledger.Spent(r.now(), on, again, again, probes)
 }
 
 // Closed implements decide.Router.
-func (r *routes) Closed(on *route.Route) { r.ledger.Closed(on) }
+func (r *routes) Release(on *route.Route) { r.ledger.Closed(on) }
 
 // say adds to what the agent is told: once in a half epoch what was used.
 func (r *routes) say(s *agentapi.Said) {
@@ -103,7 +103,7 @@
 		s.Table = r.table.Index
 	}
 	r.gathered.Say(s)
-	r.core.Inside(func(now time.Duration) {
+	r.core.RunOnLoop(func(now time.Duration) {
 		if half := int64((now + r.ahead) / r.half); half != r.word && s.Deal+s.Table > 0 {
 			r.word = half
 			u := r.ledger.Use(now + r.ahead)
@@ -144,7 +144,7 @@
 	if !ok {
 		return
 	}
-	r.core.Inside(func(now time.Duration) {
+	r.core.RunOnLoop(func(now time.Duration) {
 		r.ahead = time.Duration(rights.Half+1)*r.half - rights.Until
 		r.ledger.Deal(rights, now+r.ahead)
 	})
@@ -163,7 +163,7 @@
 		r.bad.Warn("the fleet's routes can't be used, those before stay", "err", err)
 		return
 	}
-	r.core.Inside(func(time.Duration) { r.inForce = next })
+	r.core.RunOnLoop(func(time.Duration) { r.inForce = next })
 	if w.Whole || len(w.Set)+len(w.Gone)+len(w.Steer) > 0 {
 		slog.Info("routes changed", "set", len(w.Set), "gone", len(w.Gone), "steered", len(w.Steer), "whole", w.Whole)
 	}
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -38,25 +38,25 @@
 	answer chan string
 }
 
-func (f *asker) Asked() *dispatch.Request { return &f.Request }
-func (f *asker) Move()                    {}
-func (f *asker) Fail() bool               { f.answer <- "failed"; return true }
-func (f *asker) Refuse(pause time.Duration) bool {
+func (f *asker) PlacementRequest() *dispatch.Request { return &f.Request }
+func (f *asker) Migrate()                            {}
+func (f *asker) Fail() bool                          { f.answer <- "failed"; return true }
+func (f *asker) Reject(pause time.Duration) bool {
 	f.answer <- map[bool]string{true: "busy with a pause", false: "busy"}[pause > 0]
 	return true
 }
 
 // sound is next hops that are nearly empty and take all, and a roster that never answers.
-type sound struct{ core *dispatch.Core }
+type sound struct{ core *dispatch.EventLoop }
 
 func (s *sound) Subscribe() {}
 func (s *sound) Probe(server string) {
 	load := balance.EmptyLoadReport
 	load.Utilization, load.Inflight = 0.05, 1e5
-	go s.core.Probed(server, balance.OK, time.Millisecond, load)
+	go s.core.ProbeEnded(server, balance.OK, time.Millisecond, load)
 }
-func (s *sound) Start(x dispatch.Item, attempt int, server string, _ time.Time) {
-	go s.core.BranchUp(x, attempt, server, time.Millisecond)
+func (s *sound) StartAttempt(x dispatch.Placement, attempt int, server string, _ time.Time) {
+	go s.core.AttemptEstablished(x, attempt, server, time.Millisecond)
 	x.(*asker).answer <- server
 }
 
@@ -156,7 +156,7 @@
 
 		pass(150 * time.Millisecond)
 		expect("before the list, no room", open("acme", 1), "1 busy with a pause, ")
-		core.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{{ID: "a1", Zone: "a"}, {ID: "b1", Zone: "b"}}})
+		core.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{{ID: "a1", Zone: "a"}, {ID: "b1", Zone: "b"}}})
 		state = tree(4, -1)
 		pass(850 * time.Millisecond) // to the next epoch: four tokens
 		expect("first half", open("acme", 6), "4 b1, 2 busy with a pause, ")
@@ -173,7 +173,7 @@
 		pass(500 * time.Millisecond)
 		expect("standing", open("acme", 3), "1 b1, 2 busy with a pause, ")
 		for _, f := range standing {
-			core.Ended(f, balance.OK)
+			core.PlacementEnded(f, balance.OK)
 		}
 		synctest.Wait()
 		expect("they have ended", open("acme", 10), "9 b1, 1 busy with a pause, ")
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -140,7 +140,7 @@
 }
 
 // leave empties the node for good, within the longest deadline and a little more.
-func leave(server *downstream.Server, core *dispatch.Core, listener net.Listener, place *instancelock.Lock, longest time.Duration) {
+func leave(server *downstream.Server, core *dispatch.EventLoop, listener net.Listener, place *instancelock.Lock, longest time.Duration) {
 	begun := time.Now()
 	place.SetServing(false)
 	succeeded := place.IsSiblingServing() // one that is not ready, or leaves too, would leave clients to nobody
@@ -150,7 +150,7 @@
 		_ = listener.Close()
 		plan.Refuse, plan.From = plan.End, begun
 		if g := heir(place); g != nil {
-			g.SendLearnedState(core.Recall())
+			g.SendLearnedState(core.ExportLearnedState())
 			plan.Heir = g
 			defer g.Close()
 		}
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -10,18 +10,18 @@
 
 // immediate answers every probe and takes every item at once.
 type immediate struct {
-	core *Core
+	core *EventLoop
 	up   chan struct{}
 }
 
-func (p *immediate) Start(x Item, attempt int, server string, _ time.Time) {
-	go func() { p.core.BranchUp(x, attempt, server, time.Millisecond); p.up <- struct{}{} }()
+func (p *immediate) StartAttempt(x Placement, attempt int, server string, _ time.Time) {
+	go func() { p.core.AttemptEstablished(x, attempt, server, time.Millisecond); p.up <- struct{}{} }()
 }
 
 func (p *immediate) Probe(server string) {
 	load := balance.EmptyLoadReport
 	load.Utilization, load.Inflight = 0.1, 1e6 // one more connection weighs nothing
-	go p.core.Probed(server, balance.OK, time.Millisecond, load)
+	go p.core.ProbeEnded(server, balance.OK, time.Millisecond, load)
 }
 
 func (p *immediate) Subscribe() {}
@@ -31,12 +31,12 @@
 	p := &immediate{up: make(chan struct{}, 1)}
 	c := startCore(b, p, p)
 	p.core = c
-	c.Listed(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
+	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		x := &item{Request: Request{ID: strconv.Itoa(i), Class: "feed", Deadline: time.Now().Add(patience)}, done: make(chan struct{})}
 		c.Submit(x, p)
 		<-p.up
-		c.Ended(x, balance.OK)
+		c.PlacementEnded(x, balance.OK)
 	}
 }
--- a/internal/dispatch/branches.go
+++ b/internal/dispatch/branches.go
@@ -12,7 +12,7 @@
 const homeAgain = 100 * time.Millisecond
 
 // BranchUp is told when a branch is up, and what it carries is the front's.
-func (c *Core) BranchUp(item Item, attempt int, server string, latency time.Duration) {
+func (c *EventLoop) AttemptEstablished(item Placement, attempt int, server string, latency time.Duration) {
 	c.post(func() {
 		e := c.known(item)
 		if e == nil {
@@ -20,7 +20,7 @@
 		}
 		e.open = true
 		e.trace.word("up")
-		if e.asked.At != "" {
+		if e.asked.CurrentServer != "" {
 			c.handle(balance.OpenConnection{Request: c.request(e), Server: server})
 		} else {
 			c.timed(e, server, balance.OK, latency)
@@ -34,7 +34,7 @@
 
 // BranchEnded is told when a branch has ended without coming up. Its socket is
 // closed by then.
-func (c *Core) BranchEnded(item Item, attempt int, server string, outcome balance.Outcome,
+func (c *EventLoop) AttemptEnded(item Placement, attempt int, server string, outcome balance.Outcome,
 	latency time.Duration, load balance.LoadReport) {
 	c.post(func() {
 		e := c.known(item)
@@ -43,7 +43,7 @@
 		}
 		switch {
 		case e == nil:
-		case e.asked.At != "":
+		case e.asked.CurrentServer != "":
 			c.backHome(e, server, outcome)
 		default:
 			c.timed(e, server, outcome, latency)
@@ -58,7 +58,7 @@
 // it: it is offered again while that is harmless and there is time, as the node
 // may know its next hop only a moment later, or too many came home at once. Once the
 // roster has answered and doesn't name it, nobody can take it back.
-func (c *Core) backHome(e *entry, server string, outcome balance.Outcome) {
+func (c *EventLoop) backHome(e *entry, server string, outcome balance.Outcome) {
 	next := time.Now().Add(homeAgain)
 	gone := c.listed != nil && !c.listed[server]
 	if gone || outcome != balance.ConnectFailed && outcome != balance.AtCapacity || !next.Before(e.asked.Deadline) {
@@ -68,13 +68,13 @@
 	}
 	c.timers.set(next, func() {
 		if c.known(e.item) == e {
-			e.branches.Start(e.item, 0, server, e.asked.Deadline)
+			e.branches.StartAttempt(e.item, 0, server, e.asked.Deadline)
 		}
 	})
 }
 
 // Probed is told a probe's result.
-func (c *Core) Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport) {
+func (c *EventLoop) ProbeEnded(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport) {
 	c.post(func() {
 		c.handle(balance.ProbeResult{Server: server, Outcome: outcome, Latency: latency, LoadReport: load})
 	})
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -22,16 +22,16 @@
 type Prober interface{ Probe(server string) }
 
 // Roster is asked for the list of next hops. Subscribe returns at once.
-type Roster interface{ Subscribe() }
+type Discovery interface{ Subscribe() }
 
 // Core owns the Balancer.
-type Core struct {
+type EventLoop struct {
 	Router Router // nil where there are no routes; set before Run
 
 	clock    Clock
 	balancer *balance.Balancer
 	prober   Prober
-	roster   Roster
+	roster   Discovery
 	inbox    chan func()
 	done     chan struct{}
 	bad      logging.Throttled
@@ -48,10 +48,10 @@
 
 // entry is what the Core keeps of a transaction.
 type entry struct {
-	item     Item
+	item     Placement
 	asked    *Request
-	branches Branches // of the front that brought it
-	server   string   // of its latest branch
+	branches AttemptStarter // of the front that brought it
+	server   string         // of its latest branch
 	attempts int
 	open     bool
 	early    func()                  // its end, told before its start
@@ -61,12 +61,12 @@
 }
 
 // New returns a Core for settings; Run starts it.
-func New(clock Clock, seed uint64, set balance.Settings, p Prober, r Roster) (*Core, error) {
+func New(clock Clock, seed uint64, set balance.Settings, p Prober, r Discovery) (*EventLoop, error) {
 	balancer, err := balance.New(seed, set)
 	if err != nil {
 		return nil, err
 	}
-	return &Core{clock: clock, balancer: balancer, prober: p, roster: r,
+	return &EventLoop{clock: clock, balancer: balancer, prober: p, roster: r,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
 		classes: names(set.Classes), transactions: map[string]*entry{}}, nil
 }
@@ -80,7 +80,7 @@
 }
 
 // Run handles events until ctx ends.
-func (c *Core) Run(ctx context.Context) {
+func (c *EventLoop) Run(ctx context.Context) {
 	defer close(c.done)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
@@ -110,7 +110,7 @@
 }
 
 // post hands f to Run's goroutine.
-func (c *Core) post(f func()) {
+func (c *EventLoop) post(f func()) {
 	select {
 	case c.inbox <- f:
 	case <-c.done:
@@ -118,7 +118,7 @@
 }
 
 // handle tells the module an event and does what it answers.
-func (c *Core) handle(ev balance.Event) {
+func (c *EventLoop) handle(ev balance.Event) {
 	now := time.Now()
 	c.actions = c.balancer.Handle(c.clock.At(now), ev, c.actions[:0])
 	for _, a := range c.actions {
@@ -126,7 +126,7 @@
 	}
 }
 
-func (c *Core) do(now time.Time, action balance.Action) {
+func (c *EventLoop) do(now time.Time, action balance.Action) {
 	switch a := action.(type) {
 	case balance.Attempt:
 		if e := c.transactions[a.ID]; e != nil {
@@ -136,15 +136,15 @@
 			}
 			e.server = a.Server
 			if e.route != nil && e.attempts > 0 {
-				c.Router.Spent(e.route, 1, 0)
+				c.Router.AddUsage(e.route, 1, 0)
 			}
 			e.trace.branch(a.Server)
-			e.branches.Start(e.item, e.attempts, a.Server, deadline)
+			e.branches.StartAttempt(e.item, e.attempts, a.Server, deadline)
 			e.attempts++
 		}
 	case balance.Reject:
 		if e := c.drop(a.ID, "refused"); e != nil {
-			e.item.Refuse(a.RetryAfter)
+			e.item.Reject(a.RetryAfter)
 		}
 	case balance.Fail:
 		if e := c.drop(a.ID, "failed"); e != nil {
@@ -153,7 +153,7 @@
 	case balance.Migrate:
 		if e := c.transactions[a.ID]; e != nil {
 			e.trace.word("moved")
-			e.item.Move()
+			e.item.Migrate()
 		}
 	case balance.Probe:
 		c.prober.Probe(a.Server)
@@ -167,13 +167,13 @@
 }
 
 // drop forgets a transaction that is over, for good; how is for the log.
-func (c *Core) drop(id, how string) *entry {
+func (c *EventLoop) drop(id, how string) *entry {
 	e := c.transactions[id]
 	if e == nil {
 		return nil
 	}
 	if e.route != nil {
-		c.Router.Closed(e.route)
+		c.Router.Release(e.route)
 	}
 	e.trace.end(e.asked, how)
 	delete(c.transactions, id)
@@ -181,8 +181,8 @@
 }
 
 // known returns the entry of an item, or nil if it is over or another took its id.
-func (c *Core) known(item Item) *entry {
-	if e := c.transactions[item.Asked().ID]; e != nil && e.item == item {
+func (c *EventLoop) known(item Placement) *entry {
+	if e := c.transactions[item.PlacementRequest().ID]; e != nil && e.item == item {
 		return e
 	}
 	return nil
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -31,7 +31,7 @@
 	asked   chan struct{}
 }
 
-func (p *parties) Start(_ Item, _ int, server string, _ time.Time) {
+func (p *parties) StartAttempt(_ Placement, _ int, server string, _ time.Time) {
 	p.started <- server
 }
 func (p *parties) Probe(server string) { p.probed <- server }
@@ -47,15 +47,15 @@
 	return v
 }
 
-func start(t *testing.T) (*Core, *parties) {
+func start(t *testing.T) (*EventLoop, *parties) {
 	t.Helper()
 	p := &parties{make(chan string, 16), make(chan string, 16), make(chan struct{}, 16)}
 	c := startCore(t, p, p)
-	c.Listed(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
+	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
 	return c, p
 }
 
-func startCore(t testing.TB, p Prober, r Roster) *Core {
+func startCore(t testing.TB, p Prober, r Discovery) *EventLoop {
 	t.Helper()
 	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, SubscribeRequired: true, SubscribeTimeout: time.Second,
 		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: time.Second}},
@@ -78,15 +78,15 @@
 	done    chan struct{}
 }
 
-func (x *item) Asked() *Request           { return &x.Request }
-func (x *item) Refuse(time.Duration) bool { return x.Fail() }
-func (x *item) Move()                     {}
+func (x *item) PlacementRequest() *Request { return &x.Request }
+func (x *item) Reject(time.Duration) bool  { return x.Fail() }
+func (x *item) Migrate()                   {}
 func (x *item) Fail() (first bool) {
 	x.settled.Do(func() { first = true; close(x.done) })
 	return first
 }
 
-func submit(c *Core, p *parties, r Request) *item {
+func submit(c *EventLoop, p *parties, r Request) *item {
 	r.Class, r.Deadline = "feed", time.Now().Add(patience)
 	x := &item{Request: r, done: make(chan struct{})}
 	c.Submit(x, p)
@@ -102,17 +102,17 @@
 	load.Utilization = 0.1
 	x := submit(c, p, Request{ID: "a"})
 	first := wait(t, p.probed)
-	c.Probed(first, balance.OK, time.Millisecond, load)
+	c.ProbeEnded(first, balance.OK, time.Millisecond, load)
 	if s := wait(t, p.started); s != first {
 		t.Fatalf("probed %s, started at %s", first, s)
 	}
-	c.BranchEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
+	c.AttemptEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
 	second := wait(t, p.probed)
-	c.Probed(second, balance.OK, time.Millisecond, load)
+	c.ProbeEnded(second, balance.OK, time.Millisecond, load)
 	if s := wait(t, p.started); s == first {
 		t.Fatalf("%s was tried again", s)
 	}
-	c.BranchEnded(x, 1, second, balance.Reset, time.Millisecond, balance.EmptyLoadReport)
+	c.AttemptEnded(x, 1, second, balance.Reset, time.Millisecond, balance.EmptyLoadReport)
 	wait(t, x.done)
 	if len(p.started) > 0 {
 		t.Error("sent again after a reset")
@@ -145,15 +145,15 @@
 // is offered again while that is harmless.
 func TestBackHome(t *testing.T) {
 	c, p := start(t)
-	x := submit(c, p, Request{ID: "a", At: "s7"})
+	x := submit(c, p, Request{ID: "a", CurrentServer: "s7"})
 	for range 2 {
 		if s := wait(t, p.started); s != "s7" {
 			t.Fatalf("started at %s", s)
 		}
-		c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+		c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	}
 	wait(t, p.started)
-	c.BranchEnded(x, 0, "s7", balance.Reset, 0, balance.EmptyLoadReport)
+	c.AttemptEnded(x, 0, "s7", balance.Reset, 0, balance.EmptyLoadReport)
 	wait(t, x.done)
 }
 
@@ -162,13 +162,13 @@
 func TestHomeThatIsGone(t *testing.T) {
 	c, p := start(t)
 	list := []balance.ServerEntry{{ID: "s1"}, {ID: "s7"}}
-	c.Listed(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
-	x := submit(c, p, Request{ID: "a", At: "s7"})
+	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
+	x := submit(c, p, Request{ID: "a", CurrentServer: "s7"})
 	wait(t, p.started)
-	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+	c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	wait(t, p.started) // it is named: its process may be back in a moment
-	c.Listed(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
-	c.BranchEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
+	c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	select {
 	case <-x.done:
 	case s := <-p.started:
@@ -180,10 +180,10 @@
 // still hears of both in order, and the id is free again.
 func TestEndToldBeforeItsStart(t *testing.T) {
 	c, p := start(t)
-	x := submit(c, p, Request{ID: "a", At: "s1"})
+	x := submit(c, p, Request{ID: "a", CurrentServer: "s1"})
 	wait(t, p.started)
-	c.Ended(x, balance.OK)
-	c.BranchUp(x, 0, "s1", time.Millisecond)
+	c.PlacementEnded(x, balance.OK)
+	c.AttemptEstablished(x, 0, "s1", time.Millisecond)
 	submit(c, p, Request{ID: "a"})
 	wait(t, p.probed)
 }
--- a/internal/dispatch/items.go
+++ b/internal/dispatch/items.go
@@ -11,41 +11,41 @@
 // Request is what a front tells of an item when it brings it. Package handover sends it to
 // another version of the process as JSON, so its keys must not change.
 type Request struct {
-	ID       string                  `json:"ID"`
-	Class    string                  `json:"Class"`
-	Key      string                  `json:"Key"`
-	Group    string                  `json:"Group"`
-	Tenant   string                  `json:"Tenant"` // whose client it is; empty where nobody says
-	At       string                  `json:"At"`     // the next hop that already holds it; empty if none
-	Hint     float64                 `json:"Hint"`
-	Retry    bool                    `json:"Retry"`
-	Returned bool                    `json:"Returned"`
-	Bound    *balance.ZoneConstraint `json:"Bound"`    // where it may be drawn; nil for anywhere
-	Deadline time.Time               `json:"Deadline"` // the final answer must be out by then
+	ID            string                  `json:"ID"`
+	Class         string                  `json:"Class"`
+	Key           string                  `json:"Key"`
+	Group         string                  `json:"Group"`
+	Tenant        string                  `json:"Tenant"` // whose client it is; empty where nobody says
+	CurrentServer string                  `json:"At"`     // the next hop that already holds it; empty if none
+	Hint          float64                 `json:"Hint"`
+	Retry         bool                    `json:"Retry"`
+	Returned      bool                    `json:"Returned"`
+	Bound         *balance.ZoneConstraint `json:"Bound"`    // where it may be drawn; nil for anywhere
+	Deadline      time.Time               `json:"Deadline"` // the final answer must be out by then
 }
 
 // Item is what is placed: a line transaction, a flow, a question of another proxy.
 // It is compared by identity, so it has to be a pointer. Its methods return at once
 // and may be called at any time; of Refuse, Fail and the front's own way to say that
 // it is up, the first counts, and is the one final answer.
-type Item interface {
-	Asked() *Request // does not change
-	Refuse(pause time.Duration) bool
+type Placement interface {
+	PlacementRequest() *Request // does not change
+	Reject(pause time.Duration) bool
 	Fail() bool
-	Move() // asks what stands to go elsewhere; before that it does nothing
+	Migrate() // asks what stands to go elsewhere; before that it does nothing
 }
 
 // Branches makes the attempts of one front's items. Start returns at once; what
 // becomes of the attempt is told to the Core by BranchUp or BranchEnded, once.
-type Branches interface {
-	Start(item Item, attempt int, server string, deadline time.Time)
+type AttemptStarter interface {
+	StartAttempt(item Placement, attempt int, server string, deadline time.Time)
 }
 
 // Submit takes an item, which is then owed one final answer; its attempts are made
 // by b.
-func (c *Core) Submit(item Item, b Branches) {
+func (c *EventLoop) Submit(item Placement, b AttemptStarter) {
 	c.post(func() {
-		r := item.Asked()
+		r := item.PlacementRequest()
 		if c.transactions[r.ID] != nil || !c.classes[r.Class] {
 			// Ids are new for each connection: a second one would mix up two
 			// transactions in the module. A class that the settings don't name
@@ -56,20 +56,20 @@
 		}
 		e := &entry{item: item, asked: r, branches: b, trace: traced()}
 		c.transactions[r.ID] = e
-		if r.At != "" {
+		if r.CurrentServer != "" {
 			// It runs at that next hop already: there is nothing to decide, and
 			// the module hears of it when it is up.
-			e.server, e.attempts = r.At, 1
-			e.trace.branch(r.At)
+			e.server, e.attempts = r.CurrentServer, 1
+			e.trace.branch(r.CurrentServer)
 			c.adopted(e)
-			b.Start(item, 0, r.At, r.Deadline)
+			b.StartAttempt(item, 0, r.CurrentServer, r.Deadline)
 			return
 		}
 		c.admit(e)
 	})
 }
 
-func (c *Core) request(e *entry) balance.Request {
+func (c *EventLoop) request(e *entry) balance.Request {
 	r, bound := e.asked, e.asked.Bound
 	if e.bound != nil {
 		bound = e.bound
@@ -79,7 +79,7 @@
 }
 
 // CallerGone is told when a caller has left before its answer, or was turned away.
-func (c *Core) CallerGone(item Item) {
+func (c *EventLoop) ClientGone(item Placement) {
 	c.post(func() {
 		if e := c.known(item); e != nil {
 			c.drop(e.asked.ID, "its caller left")
@@ -90,7 +90,7 @@
 
 // Ended is told when what stood has ended: OK if it was served to its end, Reset if
 // its next hop broke off or fell silent, else Cancelled.
-func (c *Core) Ended(item Item, outcome balance.Outcome) {
+func (c *EventLoop) PlacementEnded(item Placement, outcome balance.Outcome) {
 	c.post(func() {
 		e := c.known(item)
 		if e == nil {
@@ -113,10 +113,10 @@
 
 // Adopt takes an item that stands at a server already, and tells whether it does: not
 // if its id is in use here.
-func (c *Core) Adopt(item Item, server string) bool {
+func (c *EventLoop) Adopt(item Placement, server string) bool {
 	taken := make(chan bool, 1)
 	c.post(func() {
-		r := item.Asked()
+		r := item.PlacementRequest()
 		if c.transactions[r.ID] != nil {
 			taken <- false
 			return
--- a/internal/dispatch/module.go
+++ b/internal/dispatch/module.go
@@ -9,7 +9,7 @@
 )
 
 // Retune goes on by other settings, which Settings.Check has passed.
-func (c *Core) Retune(set balance.Settings) {
+func (c *EventLoop) UpdateSettings(set balance.Settings) {
 	c.post(func() {
 		c.classes = names(set.Classes)
 		c.handle(balance.SettingsChanged{Settings: set})
@@ -18,19 +18,19 @@
 
 // Avoided is how many of the listed next hops the module avoided a moment ago. It
 // waits for nobody.
-func (c *Core) Avoided() int { return int(c.avoided.Load()) }
+func (c *EventLoop) AvoidedCount() int { return int(c.avoided.Load()) }
 
 // Recall is what the module has learned, and Learn tells it what another process's has.
-func (c *Core) Recall() balance.LearnedState { return ask(c, c.balancer.LearnedState) }
+func (c *EventLoop) ExportLearnedState() balance.LearnedState { return ask(c, c.balancer.LearnedState) }
 
 // Spending is what the module has spent of the fleet's budgets, and Grant tells it what it
 // may spend.
-func (c *Core) Spending() balance.QuotaUsage { return ask(c, c.balancer.QuotaUsage) }
+func (c *EventLoop) Spending() balance.QuotaUsage { return ask(c, c.balancer.QuotaUsage) }
 
-func (c *Core) Grant(g balance.QuotaLease) { c.post(func() { c.handle(g) }) }
+func (c *EventLoop) Grant(g balance.QuotaLease) { c.post(func() { c.handle(g) }) }
 
 // ask puts a question to the module; the answer is empty once the Core has ended.
-func ask[T any](c *Core, question func(now time.Duration) T) (answer T) {
+func ask[T any](c *EventLoop, question func(now time.Duration) T) (answer T) {
 	told := make(chan T, 1)
 	c.post(func() { told <- question(c.clock.At(time.Now())) })
 	select {
@@ -40,6 +40,6 @@
 	return answer
 }
 
-func (c *Core) Learn(m balance.LearnedState) {
+func (c *EventLoop) ImportLearnedState(m balance.LearnedState) {
 	c.post(func() { c.handle(balance.InheritedState{LearnedState: m}) })
 }
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -5,7 +5,7 @@
 import "coralrelay/balance"
 
 // Listed is told what the roster says.
-func (c *Core) Listed(u balance.ListUpdate) {
+func (c *EventLoop) UpdateEndpoints(u balance.ListUpdate) {
 	c.post(func() {
 		c.named(u)
 		c.handle(u)
@@ -14,7 +14,7 @@
 
 // named notes which next hops the roster names. What the node had last may be old, and
 // doesn't count.
-func (c *Core) named(u balance.ListUpdate) {
+func (c *EventLoop) named(u balance.ListUpdate) {
 	switch u.Kind {
 	case balance.ListFailed, balance.ListCached:
 		return
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -20,14 +20,14 @@
 	// Adopt is Admit for what stands already.
 	Adopt(r *Request) (*route.Route, *balance.ZoneConstraint)
 	// Spent counts attempts beyond an item's first, and probes made for it.
-	Spent(r *route.Route, again, probes int)
+	AddUsage(r *route.Route, again, probes int)
 	// Closed is told once of each that was admitted or adopted onto a route.
-	Closed(r *route.Route)
+	Release(r *route.Route)
 }
 
 // admit hands a new item to the module. Probes that answer it are for it; of later ones the
 // module does not say for whom they are.
-func (c *Core) admit(e *entry) {
+func (c *EventLoop) admit(e *entry) {
 	if c.Router == nil {
 		c.handle(c.request(e))
 		return
@@ -45,11 +45,11 @@
 		}
 	}
 	if probes > 0 {
-		c.Router.Spent(on, 0, probes)
+		c.Router.AddUsage(on, 0, probes)
 	}
 }
 
-func (c *Core) adopted(e *entry) {
+func (c *EventLoop) adopted(e *entry) {
 	if c.Router != nil {
 		e.route, e.bound = c.Router.Adopt(e.asked)
 	}
@@ -57,9 +57,9 @@
 
 // Inside runs f on the Core's goroutine, with the module's time, and waits for it; it does
 // not run once the Core has ended.
-func (c *Core) Inside(f func(now time.Duration)) {
+func (c *EventLoop) RunOnLoop(f func(now time.Duration)) {
 	ask(c, func(now time.Duration) struct{} { f(now); return struct{}{} })
 }
 
 // Now is the module's time. It is for the Router.
-func (c *Core) Now() time.Duration { return c.clock.At(time.Now()) }
+func (c *EventLoop) Now() time.Duration { return c.clock.At(time.Now()) }
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -28,34 +28,34 @@
 	return onRoute, nil
 }
 
-func (r *routed) Spent(_ *route.Route, again, probes int) {
+func (r *routed) AddUsage(_ *route.Route, again, probes int) {
 	r.notes = append(r.notes, fmt.Sprintf("%d again, %d probes", again, probes))
 }
-func (r *routed) Closed(on *route.Route) { r.notes = append(r.notes, "closed "+on.Name) }
+func (r *routed) Release(on *route.Route) { r.notes = append(r.notes, "closed "+on.Name) }
 
 // A route hears once of each that it has and of its end, of each attempt beyond a first, and
 // of the probe that an arrival brings; of others it hears nothing.
 func TestRouterHearsOfWhatCounts(t *testing.T) {
 	r := &routed{}
 	c, p := start(t)
-	c.Inside(func(time.Duration) { c.Router = r })
+	c.RunOnLoop(func(time.Duration) { c.Router = r })
 	load := balance.EmptyLoadReport
 	load.Utilization = 0.1
 	x := submit(c, p, Request{ID: "a", Tenant: "acme"})
 	first := wait(t, p.probed)
-	c.Probed(first, balance.OK, time.Millisecond, load)
-	c.BranchEnded(x, 0, wait(t, p.started), balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
+	c.ProbeEnded(first, balance.OK, time.Millisecond, load)
+	c.AttemptEnded(x, 0, wait(t, p.started), balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
 	second := wait(t, p.probed)
-	c.Probed(second, balance.OK, time.Millisecond, load)
-	c.BranchUp(x, 1, wait(t, p.started), time.Millisecond)
-	c.Ended(x, balance.OK)
-	c.Ended(x, balance.OK)
-	y := submit(c, p, Request{ID: "b", At: "s1"})
+	c.ProbeEnded(second, balance.OK, time.Millisecond, load)
+	c.AttemptEstablished(x, 1, wait(t, p.started), time.Millisecond)
+	c.PlacementEnded(x, balance.OK)
+	c.PlacementEnded(x, balance.OK)
+	y := submit(c, p, Request{ID: "b", CurrentServer: "s1"})
 	wait(t, p.started)
-	c.CallerGone(y)
+	c.ClientGone(y)
 	submit(c, p, Request{ID: "c"})
 	want := []string{"admit a", "0 again, 1 probes", "1 again, 0 probes", "closed acme:r", "adopt b", "closed acme:r"}
-	c.Inside(func(time.Duration) {
+	c.RunOnLoop(func(time.Duration) {
 		if !slices.Equal(r.notes, want) {
 			t.Errorf("%q, want %q", r.notes, want)
 		}
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -27,11 +27,11 @@
 		load.Utilization = 0.1
 		x := submit(c, p, Request{ID: "followed"})
 		for attempt, o := range []balance.Outcome{balance.ConnectFailed, balance.Reset} {
-			c.Probed(wait(t, p.probed), balance.OK, time.Millisecond, load)
-			c.BranchEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.EmptyLoadReport)
+			c.ProbeEnded(wait(t, p.probed), balance.OK, time.Millisecond, load)
+			c.AttemptEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.EmptyLoadReport)
 		}
 		wait(t, x.done)
-		c.Recall() // what was told before it is done
+		c.ExportLearnedState() // what was told before it is done
 		var lines []string
 		for _, l := range strings.Split(out.String(), "\n") {
 			if strings.Contains(l, `"followed"`) {
--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -19,8 +19,8 @@
 // Decider takes transactions; each is then owed one final answer. *decide.Core does.
 type Decider interface {
 	proxy.Watcher
-	Submit(item dispatch.Item, b dispatch.Branches)
-	Adopt(item dispatch.Item, server string) bool // of one that stands there already
+	Submit(item dispatch.Placement, b dispatch.AttemptStarter)
+	Adopt(item dispatch.Placement, server string) bool // of one that stands there already
 }
 
 // Continuities gives a caller that asks for it what lets it go on where it was
@@ -46,7 +46,7 @@
 	Figures      *metrics.Registry // nil if nobody asks; set before Serve
 
 	decider  Decider
-	branches dispatch.Branches // to next hops of the line protocol
+	branches dispatch.AttemptStarter // to next hops of the line protocol
 	limits   Limits
 	pause    atomic.Int64 // limits.Pause, which may change
 	bad      logging.Throttled
@@ -70,7 +70,7 @@
 }
 
 // New returns a Server that keeps to the limits.
-func New(d Decider, b dispatch.Branches, l Limits) *Server {
+func New(d Decider, b dispatch.AttemptStarter, l Limits) *Server {
 	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Transaction]bool{},
 		legs: map[net.Conn]struct{}{}, freed: make(chan struct{}, 1)}
 	s.SetPause(l.Pause)
--- a/internal/downstream/caller_test.go
+++ b/internal/downstream/caller_test.go
@@ -16,14 +16,14 @@
 // decider keeps what is submitted, and refuses it.
 type decider chan *proxy.Transaction
 
-func (d decider) Submit(item dispatch.Item, _ dispatch.Branches) {
+func (d decider) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
 	d <- item.(*proxy.Transaction)
-	item.Refuse(0)
+	item.Reject(0)
 }
 
-func (decider) Adopt(dispatch.Item, string) bool     { return true }
-func (decider) CallerGone(dispatch.Item)             {}
-func (decider) Ended(dispatch.Item, balance.Outcome) {}
+func (decider) Adopt(dispatch.Placement, string) bool              { return true }
+func (decider) ClientGone(dispatch.Placement)                      {}
+func (decider) PlacementEnded(dispatch.Placement, balance.Outcome) {}
 
 // door is a listener that hands out what is put into it.
 type door chan net.Conn
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -129,7 +129,7 @@
 		return
 	}
 	for _, t := range standing {
-		t.Move()
+		t.Migrate()
 	}
 }
 
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -27,16 +27,20 @@
 	return &parked{taken: make(chan *proxy.Transaction, 64), events: make(chan string, 64)}
 }
 
-func (p *parked) Submit(item dispatch.Item, _ dispatch.Branches) {
+func (p *parked) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
 	p.taken <- item.(*proxy.Transaction)
 	if p.may != nil {
 		<-p.may
 	}
-	p.events <- "submitted " + item.Asked().ID
+	p.events <- "submitted " + item.PlacementRequest().ID
+}
+func (p *parked) Adopt(dispatch.Placement, string) bool { return true }
+func (p *parked) ClientGone(item dispatch.Placement) {
+	p.events <- "gone " + item.PlacementRequest().ID
+}
+func (p *parked) PlacementEnded(item dispatch.Placement, _ balance.Outcome) {
+	p.events <- "ended " + item.PlacementRequest().ID
 }
-func (p *parked) Adopt(dispatch.Item, string) bool            { return true }
-func (p *parked) CallerGone(item dispatch.Item)               { p.events <- "gone " + item.Asked().ID }
-func (p *parked) Ended(item dispatch.Item, _ balance.Outcome) { p.events <- "ended " + item.Asked().ID }
 
 // all is what comes until the end, which must be one in good order.
 func all(t *testing.T, far net.Conn) string {
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -76,7 +76,7 @@
 
 // open runs a transaction to its end.
 func (s *Server) open(v *visitor, l *bufconn.Conn, o lineproto.ConnectRequest) {
-	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, At: o.Endpoint,
+	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, CurrentServer: o.Endpoint,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Returned, Deadline: time.Now().Add(min(o.Patience, longestWait) - margin)},
 		&o, lineproto.Codec{}, s.decider, l)
 	t.Figures = s.Figures.Class(o.Class)
--- a/internal/hotrestart/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -19,9 +19,9 @@
 	return n
 }
 
-func (n *node) CallerGone(dispatch.Item)                 {}
-func (n *node) Ended(_ dispatch.Item, o balance.Outcome) { n.ended <- o }
-func (n *node) Learn(balance.LearnedState)               {}
+func (n *node) ClientGone(dispatch.Placement)                          {}
+func (n *node) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { n.ended <- o }
+func (n *node) Learn(balance.LearnedState)                             {}
 
 func (n *node) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
 	n.asked <- struct{}{}
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -25,7 +25,7 @@
 // storedStanding is what standing.json holds, and storedMemory what lesson.json does.
 var (
 	storedStanding = proxy.Standing{
-		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", At: "s9", Hint: 0.25,
+		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
 			Bound: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
 		Server: "s3", FromCaller: []byte("are"), FromHop: []byte("LOA"), Pending: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -11,7 +11,7 @@
 // There is one final answer, whoever is first.
 func TestOneFinalAnswer(t *testing.T) {
 	b := start(t)
-	if !b.t.Refuse(250*time.Millisecond) || b.t.Fail() || b.t.Up("UP r1", "s1", b.hopLeg) {
+	if !b.t.Reject(250*time.Millisecond) || b.t.Fail() || b.t.Up("UP r1", "s1", b.hopLeg) {
 		t.Error("not exactly the first answer was taken")
 	}
 	b.expect(t, b.fromNode, "BUSY 250\r\n")
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -41,7 +41,7 @@
 			if says != "" {
 				b.expect(t, b.fromNode, says)
 			}
-			b.t.Move()
+			b.t.Migrate()
 			if says == "" {
 				b.expect(t, b.fromNode, "MOVE\r\n")
 			}
@@ -66,7 +66,7 @@
 	b.up(t)
 	say(t, b.caller, "whole\r\nhalf a li")
 	b.expect(t, b.fromCaller, "whole\r\n")
-	b.t.Move()
+	b.t.Migrate()
 	b.expect(t, b.fromNode, "MOVE\r\n")
 	say(t, b.caller, "ne\r\nand more\r\n") // crosses the end of the other leg
 	b.expect(t, b.fromNode, "")
@@ -109,8 +109,8 @@
 	if !b.t.Up("UP r1", "s1", b.hopLeg) {
 		t.Fatal("Up was not taken")
 	}
-	b.t.Move()
-	b.t.Move()
+	b.t.Migrate()
+	b.t.Migrate()
 	b.run()
 	b.expect(t, b.fromNode, "UP r1\r\n")
 	b.expect(t, b.fromNode, "MOVE\r\n")
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -81,8 +81,8 @@
 // Watcher is told what becomes of a transaction, as decide.Core has it. Its methods
 // must not wait for the transaction.
 type Watcher interface {
-	CallerGone(item dispatch.Item)                     // while it waited for its answer, or was turned away meanwhile
-	Ended(item dispatch.Item, outcome balance.Outcome) // after UP; nothing passes any more
+	ClientGone(item dispatch.Placement)                              // while it waited for its answer, or was turned away meanwhile
+	PlacementEnded(item dispatch.Placement, outcome balance.Outcome) // after UP; nothing passes any more
 }
 
 // answer is what the deciding side hands to the caller's side.
@@ -129,7 +129,7 @@
 }
 
 // Asked is the request, for the deciding side.
-func (t *Transaction) Asked() *dispatch.Request { return &t.Request }
+func (t *Transaction) PlacementRequest() *dispatch.Request { return &t.Request }
 
 // Context ends when no branch is wanted any more: the caller has left, or the
 // final answer was given.
@@ -153,7 +153,7 @@
 }
 
 // Refuse gives the busy answer.
-func (t *Transaction) Refuse(pause time.Duration) bool {
+func (t *Transaction) Reject(pause time.Duration) bool {
 	return t.settle(answer{line: t.front.Busy(pause), busy: true})
 }
 
@@ -164,7 +164,7 @@
 // when the node ends, with what promises nothing; the deciding side forgets it.
 func (t *Transaction) GiveUp() {
 	if t.Fail() {
-		t.watch.CallerGone(t)
+		t.watch.ClientGone(t)
 	}
 }
 
@@ -177,7 +177,7 @@
 
 // Move asks the caller to come again, also where it was to be handed over and has not
 // been offered yet. Before UP it does nothing.
-func (t *Transaction) Move() {
+func (t *Transaction) Migrate() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.hop != nil && !t.offered {
@@ -198,7 +198,7 @@
 	if first {
 		t.cancel()
 		close(t.final)
-		t.watch.CallerGone(t)
+		t.watch.ClientGone(t)
 	}
 }
 
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -46,8 +46,8 @@
 	ended chan balance.Outcome
 }
 
-func (w *watcher) CallerGone(dispatch.Item)                 { close(w.gone) }
-func (w *watcher) Ended(_ dispatch.Item, o balance.Outcome) { w.ended <- o }
+func (w *watcher) ClientGone(dispatch.Placement)                          { close(w.gone) }
+func (w *watcher) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { w.ended <- o }
 
 // bench is a transaction between two parties on real sockets.
 type bench struct {
@@ -164,7 +164,7 @@
 		go fmt.Fprint(b.hop, "D 7\r\nyes\r\n")
 		b.expect(t, b.fromNode, "LOAD 7\r\n")
 		b.expect(t, b.fromNode, "yes\r\n")
-		b.t.Move()
+		b.t.Migrate()
 		b.expect(t, b.fromNode, "MOVE\r\n")
 		if how := wait(t, b.ended); how != balance.Cancelled {
 			t.Errorf("ended as %v, want Cancelled", how)
@@ -189,11 +189,11 @@
 		{"next hop resets", func(_ *testing.T, b *bench) { reset(b.hop) }, balance.Reset, ""},
 		{"caller ends", func(_ *testing.T, b *bench) { b.caller.Close() }, balance.Cancelled, ""},
 		{"caller resets", func(_ *testing.T, b *bench) { reset(b.caller) }, balance.Cancelled, ""},
-		{"our move", func(_ *testing.T, b *bench) { b.t.Move() }, balance.Cancelled, "MOVE\r\n"},
+		{"our move", func(_ *testing.T, b *bench) { b.t.Migrate() }, balance.Cancelled, "MOVE\r\n"},
 		{"our move within a line", func(t *testing.T, b *bench) {
 			say(t, b.hop, "whole\r\nhalf a li")
 			b.expect(t, b.fromNode, "whole\r\n")
-			b.t.Move()
+			b.t.Migrate()
 		}, balance.Cancelled, "MOVE\r\n"},
 	}
 	for _, tt := range tests {
--- a/internal/proxy/heir.go
+++ b/internal/proxy/heir.go
@@ -34,7 +34,7 @@
 // does nothing. Who has a place in a stream is moved: that place is not passed on.
 func (t *Transaction) Yield(to Heir) {
 	if t.Continuity != nil {
-		t.Move()
+		t.Migrate()
 		return
 	}
 	t.mu.Lock()
@@ -130,4 +130,4 @@
 	return t
 }
 
-var _ dispatch.Item = (*Transaction)(nil)
+var _ dispatch.Placement = (*Transaction)(nil)
--- a/internal/proxy/heir_test.go
+++ b/internal/proxy/heir_test.go
@@ -82,7 +82,7 @@
 		{name: "the next hop's reset", do: func(b *bench) { abort(b.hop) }, ended: balance.Reset, hopGone: true, cut: true},
 		{name: "the caller's end", fromCaller: "f\r\nlast\r\n", do: func(b *bench) { b.caller.Close() }, toHop: half + "last\r\n", ended: balance.Cancelled, callerGone: true},
 		{name: "the caller's reset", do: func(b *bench) { abort(b.caller) }, ended: balance.Cancelled, callerGone: true},
-		{name: "the module's move", do: func(b *bench) { b.t.Move() }, laterCaller: "f\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half, toCaller: bye},
+		{name: "the module's move", do: func(b *bench) { b.t.Migrate() }, laterCaller: "f\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half, toCaller: bye},
 	}
 	const before, after, refused = "before the answer", "after it", "before it refuses"
 	for _, when := range []string{before, after, refused} {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -42,7 +42,7 @@
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				// It may go on sending for hours: then the relay sees no end, and what
 				// else the caller writes would be dropped without a word.
-				t.Move()
+				t.Migrate()
 			}
 			return false
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -56,7 +56,7 @@
 			hop.Release() // only this process's copy: what comes on it is the other one's to read
 			hop = nil
 		}
-		t.watch.Ended(t, how.outcome())
+		t.watch.PlacementEnded(t, how.outcome())
 	}
 	// The reader still runs: it drops what the caller writes, so that the
 	// close does not reset the connection under the last line.
--- a/internal/proxy/yield_test.go
+++ b/internal/proxy/yield_test.go
@@ -84,7 +84,7 @@
 	for name, do := range map[string]func(b *bench) (last string){
 		"MOVE":              func(b *bench) string { say(t, b.hop, "MOVE\r\n"); b.hop.Close(); return "MOVE\r\n" },
 		"BYE":               func(b *bench) string { say(t, b.hop, "BYE\r\n"); b.hop.Close(); return "BYE\r\n" },
-		"the module's move": func(b *bench) string { b.t.Move(); return "MOVE\r\n" },
+		"the module's move": func(b *bench) string { b.t.Migrate(); return "MOVE\r\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, h, _ := holds(t)
--- a/internal/refmodel/list_clock_test.go
+++ b/internal/refmodel/list_clock_test.go
@@ -195,7 +195,7 @@
 				t.Errorf("the list came %v after the watch fell silent", took)
 			}
 		}
-		f.core.Retune(settings.ForWatch(set)) // as SIGHUP does
+		f.core.UpdateSettings(settings.ForWatch(set)) // as SIGHUP does
 		last := d.hush()
 		time.Sleep(20 * time.Second)
 		if f.whole(last).IsZero() {
--- a/internal/refmodel/list_discovery_test.go
+++ b/internal/refmodel/list_discovery_test.go
@@ -169,7 +169,7 @@
 
 // follower is what of a node follows the list.
 type follower struct {
-	core  *dispatch.Core
+	core  *dispatch.EventLoop
 	watch *discovery.Watch
 
 	mu   sync.Mutex
@@ -181,7 +181,7 @@
 	f.mu.Lock()
 	f.told, f.at = append(f.told, u), append(f.at, time.Now())
 	f.mu.Unlock()
-	f.core.Listed(u.List())
+	f.core.UpdateEndpoints(u.List())
 }
 
 func (*follower) Probe(string) {}
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -127,7 +127,7 @@
 					u.Entries = append(u.Entries, discovery.Entry{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
 				}
 				hops.Update(true, u.Entries, time.Now())
-				core.Listed(u.List())
+				core.UpdateEndpoints(u.List())
 				r.parts.Go(func() { _ = server.Serve(door) })
 				var callers []string
 				for i := range 60 {
--- a/internal/refmodel/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -133,5 +133,5 @@
 		})
 		k.n.hops.Update(u.Kind == balance.ListFull, u.Entries, time.Now())
 	}
-	k.n.core.Listed(u.List())
+	k.n.core.UpdateEndpoints(u.List())
 }
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -79,7 +79,7 @@
 	s.set.Limits.MaxAttempts = 1 + s.rng.IntN(4)
 	set := s.set
 	s.mu.Unlock()
-	s.node.core.Retune(set)
+	s.node.core.UpdateSettings(set)
 	synctest.Wait() // it is in force
 	s.note(func(b *refmodel.Checker, now time.Duration) { b.SettingsChanged(now, set.Limits.MaxAttempts) })
 }
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -21,7 +21,7 @@
 
 // node is one process.
 type node struct {
-	core   *dispatch.Core
+	core   *dispatch.EventLoop
 	hops   *upstream.Hops
 	server *downstream.Server
 	door   listener
@@ -35,7 +35,7 @@
 	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
 	n.hops = upstream.New(ctx, upstream.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
 	n.hops.Dial = s.dial
-	var lists dispatch.Roster = noRoster{}
+	var lists dispatch.Discovery = noRoster{}
 	watch := discovery.New("discovery:1", sink{s, n})
 	watch.Dial = s.board.dial
 	if s.kind == silent {
@@ -65,7 +65,7 @@
 func (n *node) tell(kind balance.ListKind, entries []discovery.Entry) {
 	u := discovery.Update{Kind: kind, Entries: entries}
 	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
-	n.core.Listed(u.List())
+	n.core.UpdateEndpoints(u.List())
 }
 
 // end lets a process end: at once, or as one that is replaced.
@@ -104,19 +104,19 @@
 	s.set.Processes = 2
 	s.node = s.start(list...)
 	next := s.node
-	old.core.Retune(s.set)
+	old.core.UpdateSettings(s.set)
 	s.ended.Go(func() {
 		defer func() {
 			set := s.set
 			set.Processes = 1
-			next.core.Retune(set)
+			next.core.UpdateSettings(set)
 			s.two.Store(false)
 		}()
 		if s.kind == beside {
 			time.Sleep(s.upTo(2 * time.Second))
 		}
 		_ = old.door.Close()
-		next.core.Learn(old.core.Recall())
+		next.core.ImportLearnedState(old.core.ExportLearnedState())
 		s.end(old, heir{s, next.server})
 	})
 }
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -40,11 +40,11 @@
 
 // Decider places flows; *decide.Core does.
 type Dispatcher interface {
-	Submit(item dispatch.Item, b dispatch.Branches)
-	CallerGone(item dispatch.Item)
-	Ended(item dispatch.Item, outcome balance.Outcome)
-	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
-	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
+	Submit(item dispatch.Placement, b dispatch.AttemptStarter)
+	ClientGone(item dispatch.Placement)
+	PlacementEnded(item dispatch.Placement, outcome balance.Outcome)
+	AttemptEstablished(item dispatch.Placement, attempt int, server string, latency time.Duration)
+	AttemptEnded(item dispatch.Placement, attempt int, server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
 }
 
 // Hops knows where next hops are, and which may be sent to.
@@ -337,14 +337,14 @@
 		f.flows[x.ref.Index].item = nil
 	}
 	if x.out == nil {
-		f.say(func() { f.core.CallerGone(x) })
+		f.say(func() { f.core.ClientGone(x) })
 		return
 	}
 	out := x.out
 	x.out = nil
 	f.placed--
 	f.letGo(out)
-	f.say(func() { f.core.Ended(x, outcome) })
+	f.say(func() { f.core.PlacementEnded(x, outcome) })
 }
 
 // leave forgets what the front has of a flow.
@@ -414,14 +414,14 @@
 // Start gives a flow its socket. Nothing is sent to find out whether the next hop is
 // there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
 // silence ends it later.
-func (f *Listener) Start(i dispatch.Item, attempt int, server string, _ time.Time) {
+func (f *Listener) StartAttempt(i dispatch.Placement, attempt int, server string, _ time.Time) {
 	x := i.(*item)
 	f.wg.Go(func() {
 		begun := time.Now()
 		if f.up(x, server, begun) {
-			f.core.BranchUp(x, attempt, server, 0) // nobody was asked
+			f.core.AttemptEstablished(x, attempt, server, 0) // nobody was asked
 		} else {
-			f.core.BranchEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
+			f.core.AttemptEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
 		}
 	})
 }
@@ -507,10 +507,10 @@
 }
 
 // Asked is the request.
-func (x *item) Asked() *dispatch.Request { return &x.Request }
+func (x *item) PlacementRequest() *dispatch.Request { return &x.Request }
 
 // Refuse drops what waits: a datagram's client has no other answer.
-func (x *item) Refuse(time.Duration) bool { return x.Fail() }
+func (x *item) Reject(time.Duration) bool { return x.Fail() }
 
 // Fail is the same. The flow is placed anew with its next datagram.
 func (x *item) Fail() bool {
@@ -531,7 +531,7 @@
 }
 
 // Move has the flow placed again, in mid-flow.
-func (x *item) Move() {
+func (x *item) Migrate() {
 	x.front.mu.Lock()
 	defer x.front.mu.Unlock()
 	if x.out != nil {
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -23,43 +23,43 @@
 	mu     sync.Mutex
 	server string // empty: nobody is placed
 	refuse bool
-	asked  []dispatch.Item
+	asked  []dispatch.Placement
 	ended  []balance.Outcome
-	placed map[dispatch.Item]string
+	placed map[dispatch.Placement]string
 	again  string // where a branch that has failed goes on; empty for nowhere
-	front  dispatch.Branches
+	front  dispatch.AttemptStarter
 }
 
-func (c *chooser) Submit(x dispatch.Item, b dispatch.Branches) {
+func (c *chooser) Submit(x dispatch.Placement, b dispatch.AttemptStarter) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked, c.front = append(c.asked, x), b
 	switch {
 	case c.refuse:
-		x.Refuse(0)
+		x.Reject(0)
 	case c.server != "":
-		b.Start(x, 0, c.server, x.Asked().Deadline)
+		b.StartAttempt(x, 0, c.server, x.PlacementRequest().Deadline)
 	}
 }
-func (c *chooser) CallerGone(dispatch.Item) {}
-func (c *chooser) Ended(_ dispatch.Item, o balance.Outcome) {
+func (c *chooser) ClientGone(dispatch.Placement) {}
+func (c *chooser) PlacementEnded(_ dispatch.Placement, o balance.Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = append(c.ended, o)
 }
-func (c *chooser) BranchUp(x dispatch.Item, _ int, server string, _ time.Duration) {
+func (c *chooser) AttemptEstablished(x dispatch.Placement, _ int, server string, _ time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.placed[x] = server
 }
-func (c *chooser) BranchEnded(x dispatch.Item, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.LoadReport) {
+func (c *chooser) AttemptEnded(x dispatch.Placement, attempt int, _ string, _ balance.Outcome, _ time.Duration, _ balance.LoadReport) {
 	c.mu.Lock()
 	again := c.again
 	c.mu.Unlock()
 	if again == "" {
 		x.Fail()
 	} else {
-		c.front.Start(x, attempt+1, again, x.Asked().Deadline)
+		c.front.StartAttempt(x, attempt+1, again, x.PlacementRequest().Deadline)
 	}
 }
 func (c *chooser) set(server string) {
@@ -136,7 +136,7 @@
 	if change != nil {
 		change(&o)
 	}
-	c := &chooser{server: "a", placed: map[dispatch.Item]string{}}
+	c := &chooser{server: "a", placed: map[dispatch.Placement]string{}}
 	h := &hops{addr: map[string]string{}, leaving: map[string]bool{}, mute: map[string]bool{}, hung: map[string]bool{}, got: map[string][]string{}, conns: map[string]*net.UDPConn{}}
 	h.add(t, "a")
 	h.add(t, "b")
@@ -319,7 +319,7 @@
 	for _, s := range []string{"1", "2", "3", "4", "5"} {
 		x.send(s)
 	}
-	var asked []dispatch.Item
+	var asked []dispatch.Placement
 	eventually(t, "all came", func() bool { // what is asked goes by way of the front's outbox
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -329,7 +329,7 @@
 	if len(asked) != 1 || f.Counts.Queue.Load() != 2 {
 		t.Fatalf("asked %d times, %d dropped", len(asked), f.Counts.Queue.Load())
 	}
-	f.Start(asked[0], 0, "a", time.Now().Add(time.Second))
+	f.StartAttempt(asked[0], 0, "a", time.Now().Add(time.Second))
 	for _, s := range []string{"3", "4", "5"} {
 		x.expect("a:" + s)
 	}
@@ -377,7 +377,7 @@
 			h.mu.Unlock()
 			f.Look()
 			for i, x := range asked {
-				f.Start(x, 0, []string{"a", "b"}[i%2], x.Asked().Deadline)
+				f.StartAttempt(x, 0, []string{"a", "b"}[i%2], x.PlacementRequest().Deadline)
 				if i%100 == 99 {
 					eventually(t, "they arrive", func() bool { return h.count("b") == i+1 })
 				}
@@ -668,7 +668,7 @@
 			ids := map[string]bool{}
 			c.mu.Lock()
 			for _, x := range c.asked {
-				ids[x.Asked().ID] = true
+				ids[x.PlacementRequest().ID] = true
 			}
 			c.mu.Unlock()
 			if len(ids) != flows {
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -27,7 +27,7 @@
 
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
-func (h *Hops) Start(item dispatch.Item, attempt int, server string, deadline time.Time) {
+func (h *Hops) StartAttempt(item dispatch.Placement, attempt int, server string, deadline time.Time) {
 	t := item.(*proxy.Transaction) // exchange.Decided brings no others here
 	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
 	go func() {
@@ -35,10 +35,10 @@
 		up, outcome, load := b.run()
 		latency := time.Since(begun)
 		if up {
-			h.watch.BranchUp(t, attempt, server, latency)
+			h.watch.AttemptEstablished(t, attempt, server, latency)
 			return
 		}
-		h.watch.BranchEnded(t, attempt, server, outcome, latency, load)
+		h.watch.AttemptEnded(t, attempt, server, outcome, latency, load)
 	}()
 }
 
@@ -79,7 +79,7 @@
 	// closed this socket yet; the next hop may drain; and the deadline, which for what may
 	// have run before is no later than the end of its window, may have come.
 	if b.t.Context().Err() != nil || !now.Before(b.deadline) ||
-		b.t.At == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
+		b.t.CurrentServer == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
 	if err := l.WriteLine(b.t.Forward(now, b.deadline), b.deadline); err != nil {
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -55,7 +55,7 @@
 			x := proxy.New(proxy.Request{ID: "a"}, &o, lineproto.Codec{}, w, bufconn.New(near))
 			ran := make(chan struct{})
 			go func() { defer close(ran); x.Run() }()
-			h.Start(x, 0, "s1", time.Now().Add(patience))
+			h.StartAttempt(x, 0, "s1", time.Now().Add(patience))
 			<-held.dialled
 			if prompt {
 				x.Fail() // ends the transaction's context without a moment for anybody to close the socket
@@ -87,7 +87,7 @@
 		r.ReadByte() // until the branch is closed
 	})
 	x := transaction(t, w)
-	h.Start(x, 0, "s1", time.Now().Add(patience))
+	h.StartAttempt(x, 0, "s1", time.Now().Add(patience))
 	<-asked
 	x.Fail()
 	if end := w.next(t); end.outcome != balance.Cancelled {
@@ -116,7 +116,7 @@
 					<-let
 					return near, nil
 				}
-				h.Start(transaction(t, w), 0, "s1", time.Now().Add(time.Second))
+				h.StartAttempt(transaction(t, w), 0, "s1", time.Now().Add(time.Second))
 				<-dialled
 				over(h)
 				close(let)
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -18,10 +18,10 @@
 // Watcher is told what becomes of branches and probes. A branch's socket is
 // closed, or the exchange's, by then.
 type Watcher interface {
-	BranchUp(item dispatch.Item, attempt int, server string, latency time.Duration)
-	BranchEnded(item dispatch.Item, attempt int, server string, outcome balance.Outcome,
+	AttemptEstablished(item dispatch.Placement, attempt int, server string, latency time.Duration)
+	AttemptEnded(item dispatch.Placement, attempt int, server string, outcome balance.Outcome,
 		latency time.Duration, load balance.LoadReport)
-	Probed(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
+	ProbeEnded(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
 }
 
 // Limits bound what is spent on a next hop.
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -29,17 +29,19 @@
 
 type watcher chan told
 
-func (w watcher) BranchUp(dispatch.Item, int, string, time.Duration) { w <- told{up: true} }
-func (w watcher) BranchEnded(_ dispatch.Item, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
+func (w watcher) AttemptEstablished(dispatch.Placement, int, string, time.Duration) {
+	w <- told{up: true}
+}
+func (w watcher) AttemptEnded(_ dispatch.Placement, _ int, _ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
 	w <- told{outcome: o, load: l}
 }
-func (w watcher) Probed(_ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
+func (w watcher) ProbeEnded(_ string, o balance.Outcome, _ time.Duration, l balance.LoadReport) {
 	w <- told{outcome: o, load: l}
 }
 
 // The exchange tells these; no test here waits for them.
-func (w watcher) CallerGone(dispatch.Item)             {}
-func (w watcher) Ended(dispatch.Item, balance.Outcome) {}
+func (w watcher) ClientGone(dispatch.Placement)                      {}
+func (w watcher) PlacementEnded(dispatch.Placement, balance.Outcome) {}
 
 func (w watcher) next(t *testing.T) told {
 	t.Helper()
@@ -135,7 +137,7 @@
 				}
 			})
 			x := transaction(t, w)
-			h.Start(x, 0, "s1", time.Now().Add(200*time.Millisecond))
+			h.StartAttempt(x, 0, "s1", time.Now().Add(200*time.Millisecond))
 			end := w.next(t)
 			if end.up != tt.want.up || end.outcome != tt.want.outcome {
 				t.Errorf("told %+v, want %+v", end, tt.want)
@@ -160,12 +162,12 @@
 	})
 	leaving := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}, Addr: addr}}
 	h.Update(false, leaving, time.Now().Add(-time.Second))
-	h.Start(transaction(t, w), 0, "s1", time.Now().Add(patience))
+	h.StartAttempt(transaction(t, w), 0, "s1", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
 		t.Errorf("told %+v", end)
 	}
 	h.Update(true, nil, time.Now())
-	h.Start(transaction(t, w), 0, "s1", time.Now().Add(patience))
+	h.StartAttempt(transaction(t, w), 0, "s1", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
 		t.Errorf("gone: told %+v", end)
 	}
@@ -174,7 +176,7 @@
 func TestRefusedConnection(t *testing.T) {
 	h, w, _ := start(t, func(net.Conn) {})
 	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s2"}, Addr: "127.0.0.1:1"}}, time.Now())
-	h.Start(transaction(t, w), 0, "s2", time.Now().Add(patience))
+	h.StartAttempt(transaction(t, w), 0, "s2", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
 		t.Errorf("told %+v", end)
 	}
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -17,7 +17,7 @@
 func (h *Hops) Probe(server string) {
 	p := h.get(server)
 	if p == nil {
-		go h.watch.Probed(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
+		go h.watch.ProbeEnded(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
 		return
 	}
 	select {
@@ -69,7 +69,7 @@
 		p.mu.Lock()
 		p.mute = outcome != balance.OK && outcome != balance.Errored
 		p.mu.Unlock()
-		h.watch.Probed(p.id, outcome, time.Since(begun), load)
+		h.watch.ProbeEnded(p.id, outcome, time.Since(begun), load)
 	}
 }
 
