--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -73,7 +73,7 @@
 }
 
 // accountGuards are those that a scene takes out; in other builds all are in.
-func accountGuards() account.Guards {
-	return account.Guards{Parent: mutation.Enabled("parent"), Subtree: mutation.Enabled("subtree"), Revoke: mutation.Enabled("revoke"),
-		Half: mutation.Enabled("half"), CallBack: mutation.Enabled("callback")}
+func accountGuards() account.DisabledChecks {
+	return account.DisabledChecks{ParentLimit: mutation.Enabled("parent"), GrantSubtree: mutation.Enabled("subtree"), RevokeDescendants: mutation.Enabled("revoke"),
+		AtomicChange: mutation.Enabled("half"), LendingRecall: mutation.Enabled("callback")}
 }
--- a/cmd/coralctl/account.go
+++ b/cmd/coralctl/account.go
@@ -48,10 +48,10 @@
 }
 
 func (a *limitArgs) over(l *account.Limits) {
-	put(&l.Open, a.Open)
-	put(&l.Rate, a.Rate)
-	put(&l.Retries, a.Retries)
-	put(&l.Probes, a.Probes)
+	put(&l.Connections, a.Open)
+	put(&l.SetupRate, a.Rate)
+	put(&l.RetryRate, a.Retries)
+	put(&l.ProbeRate, a.Probes)
 }
 
 func put[T any](to *T, from *T) {
@@ -95,7 +95,7 @@
 }
 
 func (c *accountFoundCmd) Run() error {
-	return c.one(account.Op{Do: account.Found, Path: c.Path, Node: c.over(account.Node{})})
+	return c.one(account.Op{Kind: account.CreateAccount, Path: c.Path, Node: c.over(account.Node{})})
 }
 
 type accountTeamCmd struct {
@@ -105,7 +105,7 @@
 }
 
 func (c *accountTeamCmd) Run() error {
-	return c.one(account.Op{Do: account.Team, Path: c.Path, Node: c.over(account.Node{})})
+	return c.one(account.Op{Kind: account.CreateTeam, Path: c.Path, Node: c.over(account.Node{})})
 }
 
 type accountLimitsCmd struct {
@@ -121,7 +121,7 @@
 		if n == nil {
 			return nil, fmt.Errorf("%q: no such account or team", c.Path)
 		}
-		return []account.Op{{Do: account.Set, Path: c.Path, Was: n.Version, Node: c.over(*n), Shrink: c.Shrink}}, nil
+		return []account.Op{{Kind: account.SetLimits, Path: c.Path, ExpectedVersion: n.Version, Node: c.over(*n), ShrinkPolicy: c.Shrink}}, nil
 	})
 }
 
@@ -130,7 +130,9 @@
 	changeArg
 }
 
-func (c *accountDropCmd) Run() error { return c.one(account.Op{Do: account.Drop, Path: c.Path}) }
+func (c *accountDropCmd) Run() error {
+	return c.one(account.Op{Kind: account.DeleteNode, Path: c.Path})
+}
 
 type accountGrantCmd struct {
 	Path   string   `arg:"" help:"The top of the subtree."`
@@ -145,8 +147,8 @@
 	if err != nil || len(public) != ed25519.PublicKeySize {
 		return fmt.Errorf("public %.60q: want %d bytes in base64", c.Public, ed25519.PublicKeySize)
 	}
-	return c.one(account.Op{Do: account.Give, Path: c.Path,
-		Grant: &account.Grant{Key: account.KeyName(public), Public: public, Acts: c.Acts, Depth: c.Depth}})
+	return c.one(account.Op{Kind: account.CreateGrant, Path: c.Path,
+		Grant: &account.Grant{Key: account.KeyName(public), PublicKey: public, Permissions: c.Acts, DelegationDepth: c.Depth}})
 }
 
 type accountRevokeCmd struct {
@@ -156,7 +158,7 @@
 }
 
 func (c *accountRevokeCmd) Run() error {
-	return c.one(account.Op{Do: account.Revoke, Path: c.Path, Name: c.Name})
+	return c.one(account.Op{Kind: account.RevokeGrant, Path: c.Path, Name: c.Name})
 }
 
 type accountListCmd struct{ agentArg }
@@ -172,15 +174,15 @@
 func printAccounts(out io.Writer, s account.State) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "version %d\n\nPATH\tOPEN\tRATE\tRETRIES\tPROBES\tROUTES\tTEAMS\tOVERCOMMIT\tZONES\tTENANTS\tCLASSES\n", s.Version)
-	for _, path := range s.Paths() {
+	for _, path := range s.NodePaths() {
 		n := s.Nodes[path]
 		l := n.Limits
-		fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", path, figures(l.Open, l.Rate, l.Retries, l.Probes, float64(l.Routes), float64(l.Teams)), max(n.Overcommit, 1),
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", path, figures(l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)), max(n.Overcommit, 1),
 			strings.Join([]string{list(n.Scope.Zones), list(n.Scope.Tenants), list(n.Scope.Classes)}, "\t"))
 	}
 	fmt.Fprint(w, "\nKEY\tPATH\tACTS\tDEPTH\tGIVEN BY\n")
-	for _, g := range s.Given() {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", g.Key, g.Path, list(g.Acts), g.Depth, g.By)
+	for _, g := range s.SortedGrants() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", g.Key, g.Path, list(g.Permissions), g.DelegationDepth, g.GrantedBy)
 	}
 	return w.Flush()
 }
--- a/cmd/coralctl/change.go
+++ b/cmd/coralctl/change.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	change := account.Change{Base: s.Version}
+	change := account.Change{BaseVersion: s.Version}
 	if change.Ops, err = ops(s); err != nil {
 		return err
 	}
--- a/cmd/coralctl/route.go
+++ b/cmd/coralctl/route.go
@@ -35,8 +35,8 @@
 }
 
 func (c *routePutCmd) Run() error {
-	r := &account.Route{Name: c.Name, Contract: c.Contract, Priority: c.Priority, Limits: account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1},
-		Match: account.Match{Class: c.Class, Tenant: c.Tenant, Group: c.Group, From: c.From, To: c.To, Returned: c.Returned, Retry: c.Retry}}
+	r := &account.Route{Name: c.Name, Contract: c.Contract, Priority: c.Priority, Limits: account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1},
+		Match: account.Match{Class: c.Class, Tenant: c.Tenant, Group: c.Group, HashFrom: c.From, HashTo: c.To, Returning: c.Returned, Retry: c.Retry}}
 	c.over(&r.Limits)
 	for _, part := range c.Part {
 		zone, word, _ := strings.Cut(part, "=")
@@ -44,12 +44,12 @@
 		if err != nil {
 			return fmt.Errorf("part %q: want ZONE=PERCENT", part)
 		}
-		r.Parts = append(r.Parts, account.Part{Zone: zone, Percent: percent})
+		r.ZoneShares = append(r.ZoneShares, account.ZoneShare{Zone: zone, Percent: percent})
 	}
 	return c.send(func(s account.State) ([]account.Op, error) {
-		op := account.Op{Do: account.PutRoute, Path: c.Owner, Route: r}
+		op := account.Op{Kind: account.PutRoute, Path: c.Owner, Route: r}
 		if old := s.Routes[c.Owner+":"+c.Name]; old != nil {
-			op.Was = old.Version
+			op.ExpectedVersion = old.Version
 		}
 		return []account.Op{op}, nil
 	})
@@ -62,7 +62,7 @@
 }
 
 func (c *routeDropCmd) Run() error {
-	return c.one(account.Op{Do: account.NoRoute, Path: c.Owner, Name: c.Name})
+	return c.one(account.Op{Kind: account.DeleteRoute, Path: c.Owner, Name: c.Name})
 }
 
 type routeListCmd struct {
@@ -81,16 +81,16 @@
 func printRoutes(out io.Writer, s account.State, below string) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "ROUTE\tMATCHES\tGOES TO\tOPEN\tRATE\tRETRIES\tPROBES\tCONTRACT")
-	for _, r := range s.Ordered() {
+	for _, r := range s.RoutesByPrecedence() {
 		if below != "" && r.Owner != below && !strings.HasPrefix(r.Owner, below+"/") {
 			continue
 		}
-		parts := make([]string, len(r.Parts))
-		for i, p := range r.Parts {
+		parts := make([]string, len(r.ZoneShares))
+		for i, p := range r.ZoneShares {
 			parts[i] = fmt.Sprintf("%s %v%%", p.Zone, p.Percent)
 		}
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Path(), matches(r.Match), list(parts),
-			figures(r.Limits.Open, r.Limits.Rate, r.Limits.Retries, r.Limits.Probes), or(r.Contract, "-"))
+			figures(r.Limits.Connections, r.Limits.SetupRate, r.Limits.RetryRate, r.Limits.ProbeRate), or(r.Contract, "-"))
 	}
 	return w.Flush()
 }
@@ -102,11 +102,11 @@
 			words = append(words, f[0]+" "+f[1])
 		}
 	}
-	if m.From != 0 || m.To != 0 {
-		words = append(words, fmt.Sprintf("hash %v to %v", m.From, m.To))
+	if m.HashFrom != 0 || m.HashTo != 0 {
+		words = append(words, fmt.Sprintf("hash %v to %v", m.HashFrom, m.HashTo))
 	}
-	if m.Returned != nil {
-		words = append(words, fmt.Sprintf("returned %v", *m.Returned))
+	if m.Returning != nil {
+		words = append(words, fmt.Sprintf("returned %v", *m.Returning))
 	}
 	if m.Retry != nil {
 		words = append(words, fmt.Sprintf("retry %v", *m.Retry))
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -45,7 +45,7 @@
 }
 
 // newRoutes returns routes without a table: all goes anywhere.
-func newRoutes(core *dispatch.EventLoop, cfg account.DealConfig) (*routes, error) {
+func newRoutes(core *dispatch.EventLoop, cfg account.LeaseConfig) (*routes, error) {
 	ledger, err := route.NewLedger(cfg)
 	if err != nil {
 		return nil, err
@@ -117,14 +117,14 @@
 }
 
 // bound leaves the paths that are used most, if there are too many.
-func bound(u *account.Use) {
-	if max(len(u.Used), len(u.Prior), len(u.Wanted)) <= mostUses {
+func bound(u *account.Usage) {
+	if max(len(u.Used), len(u.UsedBefore), len(u.Demand)) <= mostUses {
 		return
 	}
 	weight := func(path string) float64 {
-		return u.Prior[path].Rate + u.Wanted[path].Rate + u.Wanted[path].Open
+		return u.UsedBefore[path].Setups + u.Demand[path].Setups + u.Demand[path].Connections
 	}
-	for _, m := range []map[string]account.Figures{u.Used, u.Prior, u.Wanted} {
+	for _, m := range []map[string]account.Amounts{u.Used, u.UsedBefore, u.Demand} {
 		order := slices.SortedFunc(maps.Keys(m), func(a, b string) int {
 			return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
 		})
@@ -145,7 +145,7 @@
 		return
 	}
 	r.core.RunOnLoop(func(now time.Duration) {
-		r.ahead = time.Duration(rights.Half+1)*r.half - rights.Until
+		r.ahead = time.Duration(rights.HalfEpoch+1)*r.half - rights.ExpiresAt
 		r.ledger.Deal(rights, now+r.ahead)
 	})
 }
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -68,19 +68,19 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-		deal := account.DealConfig{Epoch: time.Second, Hold: 5 * time.Second}
+		deal := account.LeaseConfig{Epoch: time.Second, HolderTimeout: 5 * time.Second}
 		tree := func(rate, open float64) *logentry.State {
-			free := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1}
+			free := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1}
 			top := free
-			top.Rate, top.Open = rate, open
-			r := &account.Route{Name: "r", Owner: "acme", Match: account.Match{Tenant: "acme"}, Parts: []account.Part{{Zone: "b", Percent: 100}}, Limits: free}
+			top.SetupRate, top.Connections = rate, open
+			r := &account.Route{Name: "r", Owner: "acme", Match: account.Match{Tenant: "acme"}, ZoneShares: []account.ZoneShare{{Zone: "b", Percent: 100}}, Limits: free}
 			return &logentry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
 		}
 		log, state := &writ{}, tree(0, -1)
 		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, ConfirmedAt: time.Now()}) }
 		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
-			Member: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.Hold, Fresh: time.Second}, quota.Guards{}, clock)})
+			Member: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.HolderTimeout, Fresh: time.Second}, quota.Guards{}, clock)})
 		go a.Run(ctx)
 
 		hops := &sound{}
--- a/internal/fleet/account/account_test.go
+++ b/internal/fleet/account/account_test.go
@@ -22,17 +22,17 @@
 		by  byte
 		ops []Op
 	}{
-		{0, []Op{{Do: Found, Path: "acme", Node: ten()}, {Do: Team, Path: "acme/web", Node: half}, {Do: Team, Path: "acme/shop", Node: half},
-			give(1, "acme", 3, ActRoutes, ActLimits, ActTeams, ActGrants)}},
-		{1, []Op{give(2, "acme/web", 2, ActRoutes, ActGrants)}},
-		{2, []Op{give(3, "acme/web", 0, ActRoutes)}},
+		{0, []Op{{Kind: CreateAccount, Path: "acme", Node: ten()}, {Kind: CreateTeam, Path: "acme/web", Node: half}, {Kind: CreateTeam, Path: "acme/shop", Node: half},
+			give(1, "acme", 3, PermissionRoutes, PermissionLimits, PermissionTeams, PermissionGrants)}},
+		{1, []Op{give(2, "acme/web", 2, PermissionRoutes, PermissionGrants)}},
+		{2, []Op{give(3, "acme/web", 0, PermissionRoutes)}},
 		{0, ops},
 	} {
 		if len(c.ops) == 0 {
 			continue
 		}
 		var err error
-		if s, err = s.Apply(Change{Base: s.Version, Ops: c.ops}, key(c.by)); err != nil {
+		if s, err = s.Apply(Change{BaseVersion: s.Version, Ops: c.ops}, key(c.by)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -40,20 +40,20 @@
 }
 
 func give(i byte, path string, depth int, acts ...string) Op {
-	return Op{Do: Give, Path: path, Grant: &Grant{Key: key(i), Public: public(i), Depth: depth, Acts: acts}}
+	return Op{Kind: CreateGrant, Path: path, Grant: &Grant{Key: key(i), PublicKey: public(i), DelegationDepth: depth, Permissions: acts}}
 }
 
 func route(path, name string, m Match) Op {
-	return Op{Do: PutRoute, Path: path, Route: &Route{Name: name, Match: m, Limits: Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1}}}
+	return Op{Kind: PutRoute, Path: path, Route: &Route{Name: name, Match: m, Limits: Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1}}}
 }
 
 func TestRefused(t *testing.T) {
 	wide := ten()
-	wide.Limits.Rate = 11
+	wide.Limits.SetupRate = 11
 	named := &Node{Limits: ten().Limits, Scope: Scope{Zones: []string{"a"}, Tenants: []string{"t"}}}
 	parts := func(zone string, percent float64) Op {
 		op := route("acme/web", "r", Match{Tenant: "t"})
-		op.Route.Parts = []Part{{zone, percent}}
+		op.Route.ZoneShares = []ZoneShare{{zone, percent}}
 		return op
 	}
 	for _, tt := range []struct {
@@ -62,26 +62,26 @@
 		ops  []Op
 		why  string
 	}{
-		{"a child over its parent", 1, []Op{{Do: Set, Path: "acme/web", Node: wide}}, `open 15, at most 10`},
-		{"a parent below its children", 0, []Op{{Do: Set, Path: "acme", Node: &Node{}}}, `"acme": its teams and routes would hold open 10, at most 0`},
-		{"no bound below one", 1, []Op{{Do: Team, Path: "acme/new", Node: &Node{Limits: Limits{Open: -1}}}}, `"acme/new" has no bound of open`},
-		{"its own limits", 1, []Op{{Do: Set, Path: "acme", Node: wide}}, "only the root"},
+		{"a child over its parent", 1, []Op{{Kind: SetLimits, Path: "acme/web", Node: wide}}, `open 15, at most 10`},
+		{"a parent below its children", 0, []Op{{Kind: SetLimits, Path: "acme", Node: &Node{}}}, `"acme": its teams and routes would hold open 10, at most 0`},
+		{"no bound below one", 1, []Op{{Kind: CreateTeam, Path: "acme/new", Node: &Node{Limits: Limits{Connections: -1}}}}, `"acme/new" has no bound of open`},
+		{"its own limits", 1, []Op{{Kind: SetLimits, Path: "acme", Node: wide}}, "only the root"},
 		{"outside the subtree", 2, []Op{route("acme/shop", "r", Match{})}, `has no grant of routes on "acme/shop"`},
-		{"an act it has not", 2, []Op{{Do: Team, Path: "acme/web/eu", Node: &Node{}}}, "no grant of teams"},
-		{"no depth left", 3, []Op{give(4, "acme/web", 0, ActRoutes)}, "depth left"},
-		{"more than it has", 2, []Op{give(4, "acme/web", 0, ActTeams)}, "hands on"},
+		{"an act it has not", 2, []Op{{Kind: CreateTeam, Path: "acme/web/eu", Node: &Node{}}}, "no grant of teams"},
+		{"no depth left", 3, []Op{give(4, "acme/web", 0, PermissionRoutes)}, "depth left"},
+		{"more than it has", 2, []Op{give(4, "acme/web", 0, PermissionTeams)}, "hands on"},
 		{"nobody's key", 9, []Op{route("acme/web", "r", Match{})}, "no grant"},
-		{"another's name", 1, []Op{{Do: Give, Path: "acme", Grant: &Grant{Key: key(0), Public: public(5), Acts: []string{ActRoutes}}}}, "its name is"},
-		{"a tie", 1, []Op{route("acme/web", "a", Match{Class: "x", To: 0.5}), route("acme/shop", "b", Match{Class: "x", From: 0.4, To: 1})}, `route "acme/shop:b": ties with route "acme/web:a"`},
+		{"another's name", 1, []Op{{Kind: CreateGrant, Path: "acme", Grant: &Grant{Key: key(0), PublicKey: public(5), Permissions: []string{PermissionRoutes}}}}, "its name is"},
+		{"a tie", 1, []Op{route("acme/web", "a", Match{Class: "x", HashTo: 0.5}), route("acme/shop", "b", Match{Class: "x", HashFrom: 0.4, HashTo: 1})}, `route "acme/shop:b": ties with route "acme/web:a"`},
 		{"percent", 1, []Op{parts("a", 99)}, "99 % in all"},
-		{"a zone", 0, []Op{{Do: Set, Path: "acme", Node: named}, parts("b", 100)}, `zone "b" is none that "acme/web" may use`},
-		{"another's tenant", 0, []Op{{Do: Set, Path: "acme", Node: named}, route("acme/web", "r", Match{Tenant: "u"})}, `may match only t`},
-		{"too many routes", 0, []Op{{Do: Set, Path: "acme/web", Node: &Node{}}, route("acme/web", "r", Match{})}, `"acme/web": its teams and routes would hold routes 1`},
-		{"the second of two", 1, []Op{route("acme/web", "r", Match{}), {Do: NoRoute, Path: "acme/web", Name: "s"}}, "operation 2"},
-		{"a team with routes", 0, []Op{route("acme/web", "r", Match{}), {Do: Drop, Path: "acme/web"}}, `has route "acme/web:r"`},
+		{"a zone", 0, []Op{{Kind: SetLimits, Path: "acme", Node: named}, parts("b", 100)}, `zone "b" is none that "acme/web" may use`},
+		{"another's tenant", 0, []Op{{Kind: SetLimits, Path: "acme", Node: named}, route("acme/web", "r", Match{Tenant: "u"})}, `may match only t`},
+		{"too many routes", 0, []Op{{Kind: SetLimits, Path: "acme/web", Node: &Node{}}, route("acme/web", "r", Match{})}, `"acme/web": its teams and routes would hold routes 1`},
+		{"the second of two", 1, []Op{route("acme/web", "r", Match{}), {Kind: DeleteRoute, Path: "acme/web", Name: "s"}}, "operation 2"},
+		{"a team with routes", 0, []Op{route("acme/web", "r", Match{}), {Kind: DeleteNode, Path: "acme/web"}}, `has route "acme/web:r"`},
 	} {
 		s := with(t)
-		after, err := s.Apply(Change{Base: s.Version, Ops: tt.ops}, key(tt.by))
+		after, err := s.Apply(Change{BaseVersion: s.Version, Ops: tt.ops}, key(tt.by))
 		if err == nil || !strings.Contains(err.Error(), tt.why) || !reflect.DeepEqual(after, s) {
 			t.Errorf("%s: %v, want %q", tt.name, err, tt.why)
 		}
@@ -91,32 +91,32 @@
 func TestComparesWithWhatItsAuthorSaw(t *testing.T) {
 	s := with(t)
 	base := s.Version
-	one := Change{Base: base, Ops: []Op{route("acme/web", "r", Match{})}}
+	one := Change{BaseVersion: base, Ops: []Op{route("acme/web", "r", Match{})}}
 	s, err := s.Apply(one, key(2))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s, err = s.Apply(Change{Base: base, Ops: []Op{route("acme/web", "s", Match{Class: "x"})}}, key(3)); err != nil {
+	if s, err = s.Apply(Change{BaseVersion: base, Ops: []Op{route("acme/web", "s", Match{Class: "x"})}}, key(3)); err != nil {
 		t.Errorf("another route: %v", err)
 	}
 	if _, err := s.Apply(one, key(2)); err == nil {
 		t.Error("an entry was taken twice")
 	}
-	if s, err = s.Apply(Change{Base: s.Version, Ops: []Op{{Do: NoRoute, Path: "acme/web", Name: "r"}}}, key(2)); err != nil {
+	if s, err = s.Apply(Change{BaseVersion: s.Version, Ops: []Op{{Kind: DeleteRoute, Path: "acme/web", Name: "r"}}}, key(2)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := s.Apply(one, key(2)); err == nil {
 		t.Error("an entry was taken again after its route had been dropped")
 	}
-	if _, err := s.Apply(Change{Base: base, Whole: true, Ops: []Op{route("acme/shop", "t", Match{Class: "y"})}}, key(1)); err == nil {
+	if _, err := s.Apply(Change{BaseVersion: base, RequireUnchanged: true, Ops: []Op{route("acme/shop", "t", Match{Class: "y"})}}, key(1)); err == nil {
 		t.Error("taken on an older version of the whole")
 	}
-	for i, err := range []error{s.MayPromise(key(1), "acme/web"), s.MayPromise(key(0), "acme/web:gone"), s.MayPromise("", "acme")} {
+	for i, err := range []error{s.AuthorizeContract(key(1), "acme/web"), s.AuthorizeContract(key(0), "acme/web:gone"), s.AuthorizeContract("", "acme")} {
 		if err == nil {
 			t.Errorf("promise %d: allowed", i)
 		}
 	}
-	if err := s.MayPromise(key(0), "acme/web:s"); err != nil {
+	if err := s.AuthorizeContract(key(0), "acme/web:s"); err != nil {
 		t.Error(err)
 	}
 }
@@ -127,17 +127,17 @@
 		rate      float64
 		shop, web float64
 	}{
-		{Proportion, 6, 3, 3}, {Priority, 6, 1, 5}, {Priority, 4, 0, 4}, {Proportion, 10, 5, 5},
+		{ShrinkProportionally, 6, 3, 3}, {ShrinkByPriority, 6, 1, 5}, {ShrinkByPriority, 4, 0, 4}, {ShrinkProportionally, 10, 5, 5},
 	} {
 		first := &Node{Limits: Limits{5, 5, 5, 5, 4, 2}, Priority: -1}
-		s := with(t, Op{Do: Set, Path: "acme/web", Node: first}, route("acme/web", "r", Match{}))
+		s := with(t, Op{Kind: SetLimits, Path: "acme/web", Node: first}, route("acme/web", "r", Match{}))
 		cut := ten()
-		cut.Limits.Rate = tt.rate
-		s, err := s.Apply(Change{Base: s.Version, Ops: []Op{{Do: Set, Path: "acme", Node: cut, Shrink: tt.how}}}, key(0))
+		cut.Limits.SetupRate = tt.rate
+		s, err := s.Apply(Change{BaseVersion: s.Version, Ops: []Op{{Kind: SetLimits, Path: "acme", Node: cut, ShrinkPolicy: tt.how}}}, key(0))
 		if err != nil {
 			t.Fatal(tt.how, err)
 		}
-		if shop, web := s.Nodes["acme/shop"].Limits.Rate, s.Nodes["acme/web"].Limits.Rate; shop != tt.shop || web != tt.web {
+		if shop, web := s.Nodes["acme/shop"].Limits.SetupRate, s.Nodes["acme/web"].Limits.SetupRate; shop != tt.shop || web != tt.web {
 			t.Errorf("%s to %v: shop %v, web %v, want %v and %v", tt.how, tt.rate, shop, web, tt.shop, tt.web)
 		}
 	}
@@ -148,22 +148,22 @@
 	wide := ten()
 	for _, tt := range []struct {
 		name   string
-		ignore Guards
+		ignore DisabledChecks
 		by     byte
 		ops    []Op
 		seen   func(State) bool
 	}{
-		{"parent", Guards{Parent: true}, 1, []Op{{Do: Set, Path: "acme/web", Node: wide}}, func(s State) bool { return s.Check() != nil }},
-		{"subtree", Guards{Subtree: true}, 3, []Op{route("acme/shop", "r", Match{})}, func(s State) bool { return len(s.Routes) == 1 }},
-		{"revoke", Guards{Revoke: true}, 1, []Op{{Do: Revoke, Path: "acme/web", Name: key(2)}}, func(s State) bool { return s.Check() != nil && s.may(key(3), ActRoutes, "acme/web") == nil }},
-		{"half", Guards{Half: true}, 1, []Op{route("acme/web", "r", Match{}), {Do: Drop, Path: "acme/no"}}, func(s State) bool { return len(s.Routes) == 1 }},
+		{"parent", DisabledChecks{ParentLimit: true}, 1, []Op{{Kind: SetLimits, Path: "acme/web", Node: wide}}, func(s State) bool { return s.Validate() != nil }},
+		{"subtree", DisabledChecks{GrantSubtree: true}, 3, []Op{route("acme/shop", "r", Match{})}, func(s State) bool { return len(s.Routes) == 1 }},
+		{"revoke", DisabledChecks{RevokeDescendants: true}, 1, []Op{{Kind: RevokeGrant, Path: "acme/web", Name: key(2)}}, func(s State) bool { return s.Validate() != nil && s.may(key(3), PermissionRoutes, "acme/web") == nil }},
+		{"half", DisabledChecks{AtomicChange: true}, 1, []Op{route("acme/web", "r", Match{}), {Kind: DeleteNode, Path: "acme/no"}}, func(s State) bool { return len(s.Routes) == 1 }},
 	} {
 		for _, out := range []bool{false, true} {
 			s := with(t)
 			if out {
-				s.Ignore = tt.ignore
+				s.DisabledChecks = tt.ignore
 			}
-			after, err := s.Apply(Change{Base: s.Version, Ops: tt.ops}, key(tt.by))
+			after, err := s.Apply(Change{BaseVersion: s.Version, Ops: tt.ops}, key(tt.by))
 			if tt.seen(after) != out {
 				t.Errorf("%s, guard out %v: %v", tt.name, out, err)
 			}
--- a/internal/fleet/account/check.go
+++ b/internal/fleet/account/check.go
@@ -4,7 +4,7 @@
 
 // Check tells what of the whole tree does not hold, though every change has been looked at:
 // sums, scopes, ties, and that each grant's line reaches the root unbroken.
-func (s State) Check() error {
+func (s State) Validate() error {
 	all := make(map[string]bool, len(s.Nodes))
 	for path, n := range s.Nodes {
 		if above := parent(path); above != "" && s.Nodes[above] == nil {
@@ -32,7 +32,7 @@
 		}
 		key := r.Match.named()
 		for _, o := range alike[key] {
-			if o.Match.Ties(&r.Match) {
+			if o.Match.Overlaps(&r.Match) {
 				return fmt.Errorf("route %q: ties with route %q", path, o.Path())
 			}
 		}
@@ -46,10 +46,10 @@
 		if err := g.check(); err != nil {
 			return fmt.Errorf("grant %q: %w", id, err)
 		}
-		if from := s.Grants[g.From]; g.From != "" && (from == nil || from.Key != g.By || !from.covers(g) || !inside(g.Path, from.Path)) {
-			return fmt.Errorf("grant %q: not covered by %q, from which it came", id, g.From)
+		if from := s.Grants[g.ParentID]; g.ParentID != "" && (from == nil || from.Key != g.GrantedBy || !from.covers(g) || !inside(g.Path, from.Path)) {
+			return fmt.Errorf("grant %q: not covered by %q, from which it came", id, g.ParentID)
 		}
-		if g.From == "" && !s.isRoot(g.By) {
+		if g.ParentID == "" && !s.isRoot(g.GrantedBy) {
 			return fmt.Errorf("grant %q: the root did not give it", id)
 		}
 	}
--- a/internal/fleet/account/deal.go
+++ b/internal/fleet/account/deal.go
@@ -8,7 +8,7 @@
 
 // table is one member's reckoning for one half epoch.
 type table struct {
-	cfg    DealConfig
+	cfg    LeaseConfig
 	half   int64
 	self   string
 	places map[string]int // of the holders in this half
@@ -25,12 +25,12 @@
 // epoch's first half, and again in the second what is known not to have been spent. What a
 // member has of a parent's is then filled among the children by what this member wants of
 // each. No report makes the sum over all members greater.
-func Deal(now time.Duration, cfg DealConfig, s State, uses []Use, holders []string, self string) Rights {
-	own := Use{}
-	heard := map[string]*Use{}
+func Allocate(now time.Duration, cfg LeaseConfig, s State, uses []Usage, holders []string, self string) QuotaLease {
+	own := Usage{}
+	heard := map[string]*Usage{}
 	for i := range uses {
 		u := &uses[i]
-		if old := heard[u.Member]; u.Sound() && (old == nil || cmp.Or(cmp.Compare(u.Half, old.Half), cmp.Compare(u.At, old.At)) > 0) {
+		if old := heard[u.Member]; u.IsValid() && (old == nil || cmp.Or(cmp.Compare(u.HalfEpoch, old.HalfEpoch), cmp.Compare(u.ReportedAt, old.ReportedAt)) > 0) {
 			heard[u.Member] = u
 		}
 	}
@@ -38,9 +38,9 @@
 		own = *u
 	}
 	n := len(holders)
-	if n == 0 || !slices.Contains(holders, self) || 2*n <= cfg.Full {
-		n = max(cfg.Full, n, 1)
-		return Alone(now, cfg, s, own, Rights{Place: int(hash(self, 0, 0) % uint64(n)), Of: n})
+	if n == 0 || !slices.Contains(holders, self) || 2*n <= cfg.FleetSize {
+		n = max(cfg.FleetSize, n, 1)
+		return AllocateEvenShare(now, cfg, s, own, QuotaLease{HolderRank: int(hash(self, 0, 0) % uint64(n)), HolderCount: n})
 	}
 	t := &table{cfg: cfg, half: cfg.half(now), self: self, used: map[string][shared]int64{}}
 	t.places, t.first = ranked(holders, t.half), ranked(holders, t.half&^1)
@@ -48,9 +48,9 @@
 	if t.half%2 == 1 {
 		t.hear(s, holders, heard)
 	}
-	r := Rights{Half: t.half, Until: time.Duration(t.half+1) * (cfg.Epoch / 2), Place: still[self], Of: n}
-	r.Even = s.evenParts(n)
-	r.Paths = s.fill(own, func(path string, i int, limit int64) int64 {
+	r := QuotaLease{HalfEpoch: t.half, ExpiresAt: time.Duration(t.half+1) * (cfg.Epoch / 2), HolderRank: still[self], HolderCount: n}
+	r.EvenShares = s.evenParts(n)
+	r.Allocated = s.fill(own, func(path string, i int, limit int64) int64 {
 		if i == 0 { // how many stand is not dealt again: what stands can't be called back
 			return part(limit/thousand, turned(still[self], path, i, 0, n), n)
 		}
@@ -61,25 +61,25 @@
 
 // Alone returns the rights of a member that has not heard the record for Hold, or too few
 // others: its even part, among as many as it was last dealt among.
-func Alone(now time.Duration, cfg DealConfig, s State, own Use, last Rights) Rights {
-	r := Rights{Half: cfg.half(now), Place: last.Place, Of: max(last.Of, 1)}
-	r.Until = time.Duration(r.Half+1) * (cfg.Epoch / 2)
-	r.Even = s.evenParts(r.Of)
-	r.Paths = s.fill(own, func(path string, i int, limit int64) int64 {
-		place := turned(r.Place, path, i, 0, r.Of)
+func AllocateEvenShare(now time.Duration, cfg LeaseConfig, s State, own Usage, last QuotaLease) QuotaLease {
+	r := QuotaLease{HalfEpoch: cfg.half(now), HolderRank: last.HolderRank, HolderCount: max(last.HolderCount, 1)}
+	r.ExpiresAt = time.Duration(r.HalfEpoch+1) * (cfg.Epoch / 2)
+	r.EvenShares = s.evenParts(r.HolderCount)
+	r.Allocated = s.fill(own, func(path string, i int, limit int64) int64 {
+		place := turned(r.HolderRank, path, i, 0, r.HolderCount)
 		if i == 0 {
-			return part(limit/thousand, place, r.Of)
+			return part(limit/thousand, place, r.HolderCount)
 		}
-		return cfg.even(limit, r.Half, place, r.Of)
+		return cfg.even(limit, r.HalfEpoch, place, r.HolderCount)
 	})
 	return r
 }
 
 // evenParts returns an n-th of each limit.
-func (s State) evenParts(n int) map[string]Figures {
-	parts := make(map[string]Figures, len(s.Nodes)+len(s.Routes))
+func (s State) evenParts(n int) map[string]Amounts {
+	parts := make(map[string]Amounts, len(s.Nodes)+len(s.Routes))
 	put := func(path string, l Limits) {
-		a := Figures{l.Open, l.Rate, l.Retries, l.Probes}.array()
+		a := Amounts{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate}.array()
 		for i, x := range a {
 			if a[i] = -1; x >= 0 {
 				a[i] = x / float64(n)
@@ -117,11 +117,11 @@
 
 // hear sums what the holders say to have spent in the first half. None counts for more than
 // he had, so that a false word takes nothing from others.
-func (t *table) hear(s State, holders []string, heard map[string]*Use) {
+func (t *table) hear(s State, holders []string, heard map[string]*Usage) {
 	first, end := t.half-1, time.Duration(t.half)*(t.cfg.Epoch/2)
 	n := len(holders)
 	for _, name := range holders {
-		var spent map[string]Figures
+		var spent map[string]Amounts
 		known := false
 		if u := heard[name]; u != nil {
 			spent, known = u.spent(first, end)
--- a/internal/fleet/account/deal_test.go
+++ b/internal/fleet/account/deal_test.go
@@ -11,14 +11,14 @@
 
 const epochsIn = 1_000_000 * time.Second // an epoch's begin
 
-var dealing = DealConfig{Epoch: time.Second, Hold: 30 * time.Second}
+var dealing = LeaseConfig{Epoch: time.Second, HolderTimeout: 30 * time.Second}
 
 // lent is an account whose two teams may each use all of it.
 func lent(rate float64) State {
-	l := Limits{Open: 20, Rate: rate, Retries: rate, Probes: -1, Routes: 9, Teams: 9}
-	s, err := New(public(0)).Apply(Change{Ops: []Op{{Do: Found, Path: "acme", Node: &Node{Limits: l, Overcommit: 2}},
-		{Do: Team, Path: "acme/web", Node: &Node{Limits: Limits{20, rate, rate / 2, -1, 9, 0}}},
-		{Do: Team, Path: "acme/shop", Node: &Node{Limits: Limits{10, rate * 0.7, 0, 5, 9, 0}}}, route("acme/web", "r", Match{})}}, key(0))
+	l := Limits{Connections: 20, SetupRate: rate, RetryRate: rate, ProbeRate: -1, Routes: 9, Teams: 9}
+	s, err := New(public(0)).Apply(Change{Ops: []Op{{Kind: CreateAccount, Path: "acme", Node: &Node{Limits: l, Overcommit: 2}},
+		{Kind: CreateTeam, Path: "acme/web", Node: &Node{Limits: Limits{20, rate, rate / 2, -1, 9, 0}}},
+		{Kind: CreateTeam, Path: "acme/shop", Node: &Node{Limits: Limits{10, rate * 0.7, 0, 5, 9, 0}}}, route("acme/web", "r", Match{})}}, key(0))
 	if err != nil {
 		panic(err)
 	}
@@ -34,21 +34,21 @@
 
 // member spends what it may, as a node does: every level needs room.
 type member struct {
-	Use
-	rights Rights
-	heard  map[string]Use
+	Usage
+	rights QuotaLease
+	heard  map[string]Usage
 }
 
 func (m *member) spend(paths []string, wanted int) (n int) {
 	for range wanted {
 		for _, p := range paths {
-			if m.Used[p].Rate+1 > m.rights.Paths[p].Rate {
+			if m.Used[p].Setups+1 > m.rights.Allocated[p].Setups {
 				return n
 			}
 		}
 		for _, p := range paths {
 			f := m.Used[p]
-			f.Rate++
+			f.Setups++
 			m.Used[p] = f
 		}
 		n++
@@ -66,7 +66,7 @@
 		n, rate := rapid.IntRange(1, 9).Draw(t, "members"), rapid.Float64Range(0, 40).Draw(t, "rate")
 		s, cfg, all := lent(rate), dealing, names(n)
 		side, away := make([]int, n), 0
-		if cfg.Full = n; rapid.Bool().Draw(t, "cut apart") {
+		if cfg.FleetSize = n; rapid.Bool().Draw(t, "cut apart") {
 			sizes := [3]int{}
 			for i := range side {
 				side[i] = rapid.IntRange(0, 2).Draw(t, "side")
@@ -78,17 +78,17 @@
 		}
 		members := make([]member, n)
 		for i := range members {
-			members[i].heard = map[string]Use{}
+			members[i].heard = map[string]Usage{}
 		}
 		for half := range 2 * rapid.IntRange(1, 5).Draw(t, "epochs") {
 			now := epochsIn + time.Duration(half)*cfg.Epoch/2
 			for i := range members { // words of a half's end, before anyone's first tokens of the next
 				m := &members[i]
-				m.Use = Use{Member: all[i], At: now, Half: cfg.half(now), Prior: m.Used, Used: map[string]Figures{},
-					Wanted: map[string]Figures{"acme/web": {Rate: float64(rapid.IntRange(0, 20).Draw(t, "wanted"))}}}
+				m.Usage = Usage{Member: all[i], ReportedAt: now, HalfEpoch: cfg.half(now), UsedBefore: m.Used, Used: map[string]Amounts{},
+					Demand: map[string]Amounts{"acme/web": {Setups: float64(rapid.IntRange(0, 20).Draw(t, "wanted"))}}}
 				for j := range members {
 					if j == i || side[i] == side[j] && rapid.IntRange(0, 2).Draw(t, "heard") > 0 {
-						members[j].heard[all[i]] = m.Use
+						members[j].heard[all[i]] = m.Usage
 					}
 				}
 			}
@@ -99,11 +99,11 @@
 						holders = append(holders, name)
 					}
 				}
-				var uses []Use
+				var uses []Usage
 				for _, u := range members[i].heard {
 					uses = append(uses, u, u)
 				}
-				members[i].rights = Deal(now, cfg, s, uses, holders, all[i])
+				members[i].rights = Allocate(now, cfg, s, uses, holders, all[i])
 				for _, line := range lines {
 					members[i].spend(line, rapid.IntRange(0, 30).Draw(t, "spent"))
 				}
@@ -112,9 +112,9 @@
 				continue
 			}
 			for _, path := range []string{"acme", "acme/web", "acme/shop"} {
-				sum, l := 0.0, s.Nodes[path].Limits.Rate
+				sum, l := 0.0, s.Nodes[path].Limits.SetupRate
 				for _, m := range members {
-					sum += m.Used[path].Rate + m.Prior[path].Rate
+					sum += m.Used[path].Setups + m.UsedBefore[path].Setups
 				}
 				most := math.Floor(l) + 1
 				if away > 0 {
@@ -142,15 +142,15 @@
 		{100, 100, true, 20, 0},
 	} {
 		s := lent(40) // 20 a member in a half epoch's deal of 40 over 2
-		s.Ignore.CallBack = tt.ignore
-		u := Use{Member: "m0", At: epochsIn, Half: dealing.half(epochsIn), Wanted: map[string]Figures{"acme/web": {Rate: tt.web}, "acme/shop": {Rate: tt.shop}},
-			Used: map[string]Figures{"acme/web": {Rate: 20}}}
-		r := Deal(epochsIn, dealing, s, []Use{u}, names(2), "m0")
-		if web, shop := r.Paths["acme/web"].Rate, r.Paths["acme/shop"].Rate; web != tt.has || shop != tt.had {
+		s.DisabledChecks.LendingRecall = tt.ignore
+		u := Usage{Member: "m0", ReportedAt: epochsIn, HalfEpoch: dealing.half(epochsIn), Demand: map[string]Amounts{"acme/web": {Setups: tt.web}, "acme/shop": {Setups: tt.shop}},
+			Used: map[string]Amounts{"acme/web": {Setups: 20}}}
+		r := Allocate(epochsIn, dealing, s, []Usage{u}, names(2), "m0")
+		if web, shop := r.Allocated["acme/web"].Setups, r.Allocated["acme/shop"].Setups; web != tt.has || shop != tt.had {
 			t.Errorf("%+v: web %v, shop %v", tt, web, shop)
 		}
-		if r.Paths["acme/web"].Probes != -1 || r.Paths["acme"].Open != 10 {
-			t.Errorf("%+v", r.Paths)
+		if r.Allocated["acme/web"].Probes != -1 || r.Allocated["acme"].Connections != 10 {
+			t.Errorf("%+v", r.Allocated)
 		}
 	}
 }
@@ -159,22 +159,22 @@
 // more than its own part, and takes nothing from others.
 func TestUnspentAndFalseWords(t *testing.T) {
 	s, now := lent(40), epochsIn+dealing.Epoch/2
-	word := func(name string, spent float64) Use {
-		return Use{Member: name, At: now, Half: dealing.half(now), Prior: map[string]Figures{"acme": {Rate: spent}}}
+	word := func(name string, spent float64) Usage {
+		return Usage{Member: name, ReportedAt: now, HalfEpoch: dealing.half(now), UsedBefore: map[string]Amounts{"acme": {Setups: spent}}}
 	}
 	for _, tt := range []struct {
 		name string
-		uses []Use
+		uses []Usage
 		want float64 // of m0, who has spent 5 of 10; all others 10 of 10
 	}{
-		{"all told", []Use{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 10)}, 2},
-		{"one unheard", []Use{word("m0", 5), word("m1", 10), word("m2", 10)}, 2},
-		{"one says it spent nothing", []Use{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 0)}, 4},
-		{"one says it spent all there is", []Use{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 1e6)}, 2},
-		{"one says what can't be", []Use{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", -1e6)}, 2},
+		{"all told", []Usage{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 10)}, 2},
+		{"one unheard", []Usage{word("m0", 5), word("m1", 10), word("m2", 10)}, 2},
+		{"one says it spent nothing", []Usage{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 0)}, 4},
+		{"one says it spent all there is", []Usage{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", 1e6)}, 2},
+		{"one says what can't be", []Usage{word("m0", 5), word("m1", 10), word("m2", 10), word("m3", -1e6)}, 2},
 		{"nobody heard", nil, 0},
 	} {
-		if got := Deal(now, dealing, s, tt.uses, names(4), "m0").Paths["acme"].Rate; math.Abs(got-tt.want) > 1 || tt.want == 0 && got != 0 {
+		if got := Allocate(now, dealing, s, tt.uses, names(4), "m0").Allocated["acme"].Setups; math.Abs(got-tt.want) > 1 || tt.want == 0 && got != 0 {
 			t.Errorf("%s: %v more, want %v", tt.name, got, tt.want)
 		}
 	}
@@ -187,10 +187,10 @@
 		sum, halves := 0.0, rapid.IntRange(1, 40).Draw(t, "halves")
 		for i := range n {
 			for h := range halves {
-				sum += Alone(epochsIn+time.Duration(h)*dealing.Epoch/2, dealing, s, Use{}, Rights{Place: i, Of: n}).Paths["acme"].Rate
+				sum += AllocateEvenShare(epochsIn+time.Duration(h)*dealing.Epoch/2, dealing, s, Usage{}, QuotaLease{HolderRank: i, HolderCount: n}).Allocated["acme"].Setups
 			}
 		}
-		if want := s.Nodes["acme"].Limits.Rate * float64(halves) / 2; math.Abs(sum-want) > 1.01 {
+		if want := s.Nodes["acme"].Limits.SetupRate * float64(halves) / 2; math.Abs(sum-want) > 1.01 {
 			t.Fatalf("%v, want %v", sum, want)
 		}
 	})
--- a/internal/fleet/account/fill.go
+++ b/internal/fleet/account/fill.go
@@ -20,7 +20,7 @@
 // fill takes what a member was dealt of each limit down the tree. A child's right is what
 // progressive filling of its parent's gives it for what this member wants (max-min fair),
 // and all that no child wants, which is anybody's: the parent's count bounds it.
-func (s State) fill(own Use, dealt func(path string, i int, limit int64) int64) map[string]Figures {
+func (s State) fill(own Usage, dealt func(path string, i int, limit int64) int64) map[string]Amounts {
 	below := map[string][]string{}
 	for path := range s.Nodes {
 		below[parent(path)] = append(below[parent(path)], path)
@@ -28,8 +28,8 @@
 	for path, r := range s.Routes {
 		below[r.Owner] = append(below[r.Owner], path)
 	}
-	wants := own.Wanted
-	if s.Ignore.CallBack {
+	wants := own.Demand
+	if s.DisabledChecks.LendingRecall {
 		wants = own.Used
 	}
 	rights := make(map[string][shared]int64, len(s.Nodes)+len(s.Routes))
@@ -61,7 +61,7 @@
 		}
 	}
 	down("", [shared]int64{-1, -1, -1, -1})
-	all := make(map[string]Figures, len(rights))
+	all := make(map[string]Amounts, len(rights))
 	for path, right := range rights {
 		var a [shared]float64
 		for i, x := range right {
--- a/internal/fleet/account/grants.go
+++ b/internal/fleet/account/grants.go
@@ -9,7 +9,7 @@
 
 // Key that is empty is nobody's: a member of the fleet has no say about accounts.
 func (s State) may(key, act, path string) error {
-	_, err := s.authority(key, path, func(g *Grant) bool { return slices.Contains(g.Acts, act) }, act)
+	_, err := s.authority(key, path, func(g *Grant) bool { return slices.Contains(g.Permissions, act) }, act)
 	return err
 }
 
@@ -22,7 +22,7 @@
 	var best *Grant
 	for _, g := range s.Grants {
 		if g.Key == key && suits(g) && (best == nil || g.Path < best.Path) &&
-			(path != "" && inside(path, g.Path) || s.Ignore.Subtree) {
+			(path != "" && inside(path, g.Path) || s.DisabledChecks.GrantSubtree) {
 			best = g
 		}
 	}
@@ -63,30 +63,30 @@
 	if err != nil {
 		return err
 	}
-	g.By, g.From, g.Version = d.key, "", d.Version
+	g.GrantedBy, g.ParentID, g.Version = d.key, "", d.Version
 	if from != nil {
-		g.From = from.ID()
+		g.ParentID = from.ID()
 	}
 	d.Grants[g.ID()] = &g
 	return nil
 }
 
 func (g *Grant) check() error {
-	if len(g.Public) != ed25519.PublicKeySize {
-		return fmt.Errorf("key %.40q: %d bytes are no Ed25519 public key", g.Key, len(g.Public))
+	if len(g.PublicKey) != ed25519.PublicKeySize {
+		return fmt.Errorf("key %.40q: %d bytes are no Ed25519 public key", g.Key, len(g.PublicKey))
 	}
-	if g.Key != KeyName(g.Public) {
-		return fmt.Errorf("key %.40q: its name is %q", g.Key, KeyName(g.Public))
+	if g.Key != KeyName(g.PublicKey) {
+		return fmt.Errorf("key %.40q: its name is %q", g.Key, KeyName(g.PublicKey))
 	}
-	if g.Depth < 0 || g.Depth > mostHandedOn {
-		return fmt.Errorf("depth %d: want 0 to %d", g.Depth, mostHandedOn)
+	if g.DelegationDepth < 0 || g.DelegationDepth > mostHandedOn {
+		return fmt.Errorf("depth %d: want 0 to %d", g.DelegationDepth, mostHandedOn)
 	}
-	for i, act := range g.Acts {
-		if !slices.Contains([]string{ActRoutes, ActLimits, ActTeams, ActGrants, ActContracts}, act) || slices.Contains(g.Acts[:i], act) {
+	for i, act := range g.Permissions {
+		if !slices.Contains([]string{PermissionRoutes, PermissionLimits, PermissionTeams, PermissionGrants, PermissionContracts}, act) || slices.Contains(g.Permissions[:i], act) {
 			return fmt.Errorf("act %.20q: want some of routes, limits, teams, grants and contracts, each once", act)
 		}
 	}
-	if len(g.Acts) == 0 {
+	if len(g.Permissions) == 0 {
 		return errors.New("acts: none")
 	}
 	return nil
@@ -94,8 +94,8 @@
 
 // covers tells whether who has a grant may hand on another by it.
 func (g *Grant) covers(o *Grant) bool {
-	return slices.Contains(g.Acts, ActGrants) && g.Depth > o.Depth &&
-		!slices.ContainsFunc(o.Acts, func(act string) bool { return !slices.Contains(g.Acts, act) })
+	return slices.Contains(g.Permissions, PermissionGrants) && g.DelegationDepth > o.DelegationDepth &&
+		!slices.ContainsFunc(o.Permissions, func(act string) bool { return !slices.Contains(g.Permissions, act) })
 }
 
 // revoke takes away a grant and all that was given by it, down the line. Its own key may,
@@ -107,15 +107,15 @@
 		return fmt.Errorf("key %.40q has no grant here", op.Name)
 	}
 	if d.key != g.Key && !d.inLine(g) {
-		if err := d.may(d.key, ActGrants, parent(op.Path)); err != nil {
+		if err := d.may(d.key, PermissionGrants, parent(op.Path)); err != nil {
 			return err
 		}
 	}
 	gone := map[string]bool{id: true}
-	for more := !d.Ignore.Revoke; more; {
+	for more := !d.DisabledChecks.RevokeDescendants; more; {
 		more = false
 		for of, o := range d.Grants {
-			if gone[o.From] && !gone[of] {
+			if gone[o.ParentID] && !gone[of] {
 				gone[of], more = true, true
 			}
 		}
@@ -131,7 +131,7 @@
 // changed, only revoked with their line, so that a line has an end.
 func (d *draft) inLine(g *Grant) bool {
 	for range mostHandedOn + 1 {
-		if g = d.Grants[g.From]; g == nil {
+		if g = d.Grants[g.ParentID]; g == nil {
 			return false
 		}
 		if g.Key == d.key {
--- a/internal/fleet/account/limits.go
+++ b/internal/fleet/account/limits.go
@@ -19,7 +19,7 @@
 
 // thousandths returns the figures; one without a bound is negative.
 func (l Limits) thousandths() (f [6]int64) {
-	for i, x := range [6]float64{l.Open, l.Rate, l.Retries, l.Probes, float64(l.Routes), float64(l.Teams)} {
+	for i, x := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
 		f[i] = -1
 		if x >= 0 {
 			f[i] = int64(math.Round(x * thousand))
@@ -35,11 +35,11 @@
 			x[i] = float64(f[i]) / thousand
 		}
 	}
-	return Limits{Open: x[0], Rate: x[1], Retries: x[2], Probes: x[3], Routes: int(x[4]), Teams: int(x[5])}
+	return Limits{Connections: x[0], SetupRate: x[1], RetryRate: x[2], ProbeRate: x[3], Routes: int(x[4]), Teams: int(x[5])}
 }
 
 func (l Limits) check() error {
-	for i, x := range [6]float64{l.Open, l.Rate, l.Retries, l.Probes, float64(l.Routes), float64(l.Teams)} {
+	for i, x := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
 		if !(x <= greatest && x >= -greatest) {
 			return fmt.Errorf("%s %v: want at most %v, or a negative figure for no bound", figureNames[i], x, greatest)
 		}
@@ -132,7 +132,7 @@
 
 // holds looks at all that a change may have broken.
 func (d *draft) holds() error {
-	if !d.Ignore.Parent {
+	if !d.DisabledChecks.ParentLimit {
 		if err := d.sums(d.touched); err != nil {
 			return err
 		}
--- a/internal/fleet/account/nodes.go
+++ b/internal/fleet/account/nodes.go
@@ -11,7 +11,7 @@
 func (d *draft) add(op *Op) error {
 	above := parent(op.Path)
 	switch {
-	case (op.Do == Found) != (above == ""):
+	case (op.Kind == CreateAccount) != (above == ""):
 		return errors.New("accounts are founded, teams are added below one")
 	case d.Nodes[op.Path] != nil:
 		return errors.New("exists")
@@ -20,15 +20,15 @@
 	case len(d.Nodes) >= mostNodes:
 		return fmt.Errorf("%d accounts and teams, no more are kept", mostNodes)
 	}
-	if err := d.may(d.key, ActTeams, above); err != nil {
+	if err := d.may(d.key, PermissionTeams, above); err != nil {
 		return err
 	}
 	if op.Node == nil || op.Node.Limits != (Limits{}) {
-		if err := d.may(d.key, ActLimits, above); err != nil {
+		if err := d.may(d.key, PermissionLimits, above); err != nil {
 			return err
 		}
 	}
-	return d.putNode(op, &Node{Born: d.Version})
+	return d.putNode(op, &Node{CreatedVersion: d.Version})
 }
 
 // set replaces limits, overcommit, scope and priority; that is for who may do so above, so
@@ -38,19 +38,19 @@
 	if old == nil {
 		return errors.New("no such account or team")
 	}
-	if err := d.may(d.key, ActLimits, parent(op.Path)); err != nil {
+	if err := d.may(d.key, PermissionLimits, parent(op.Path)); err != nil {
 		return err
 	}
-	if err := d.putNode(op, old); err != nil || op.Shrink == "" {
+	if err := d.putNode(op, old); err != nil || op.ShrinkPolicy == "" {
 		return err
 	}
-	if op.Shrink != Proportion && op.Shrink != Priority {
-		return fmt.Errorf("shrink %.20q: want %q or %q", op.Shrink, Proportion, Priority)
+	if op.ShrinkPolicy != ShrinkProportionally && op.ShrinkPolicy != ShrinkByPriority {
+		return fmt.Errorf("shrink %.20q: want %q or %q", op.ShrinkPolicy, ShrinkProportionally, ShrinkByPriority)
 	}
 	if err := d.narrow(op.Path); err != nil {
 		return err
 	}
-	return d.shrink(op.Path, op.Shrink)
+	return d.shrink(op.Path, op.ShrinkPolicy)
 }
 
 func (d *draft) putNode(op *Op, old *Node) error {
@@ -61,7 +61,7 @@
 	if err := n.check(); err != nil {
 		return err
 	}
-	n.Born, n.Dropped, n.Version = old.Born, old.Dropped, d.Version
+	n.CreatedVersion, n.ChildRemovedVersion, n.Version = old.CreatedVersion, old.ChildRemovedVersion, d.Version
 	d.Nodes[op.Path] = &n
 	d.touch(op.Path)
 	d.scoped[op.Path] = true
@@ -111,7 +111,7 @@
 	if d.Nodes[path] == nil {
 		return errors.New("no such account or team")
 	}
-	if err := d.may(d.key, ActTeams, parent(path)); err != nil {
+	if err := d.may(d.key, PermissionTeams, parent(path)); err != nil {
 		return err
 	}
 	for _, team := range sorted(d.Nodes) {
--- a/internal/fleet/account/routes.go
+++ b/internal/fleet/account/routes.go
@@ -9,9 +9,9 @@
 // Rank is how specific a match is: the first match among routes by falling rank is the one
 // that counts. What a match names decides, in this order: class, tenant, one group, a range
 // of the group's hash, returned, retry. Two of one rank name the same fields.
-func (m *Match) Rank() int {
+func (m *Match) Specificity() int {
 	rank := 0
-	for i, named := range [6]bool{m.Class != "", m.Tenant != "", m.Group != "", m.ranged(), m.Returned != nil, m.Retry != nil} {
+	for i, named := range [6]bool{m.Class != "", m.Tenant != "", m.Group != "", m.ranged(), m.Returning != nil, m.Retry != nil} {
 		if named {
 			rank |= 1 << (5 - i)
 		}
@@ -19,7 +19,7 @@
 	return rank
 }
 
-func (m *Match) ranged() bool { return m.From != 0 || m.To != 0 }
+func (m *Match) ranged() bool { return m.HashFrom != 0 || m.HashTo != 0 }
 
 // named is all that a match names but the range.
 type named struct {
@@ -29,20 +29,20 @@
 }
 
 func (m *Match) named() named {
-	return named{m.Rank(), m.Class, m.Tenant, m.Group, m.Returned != nil && *m.Returned, m.Retry != nil && *m.Retry}
+	return named{m.Specificity(), m.Class, m.Tenant, m.Group, m.Returning != nil && *m.Returning, m.Retry != nil && *m.Retry}
 }
 
 // Ties tells whether a transaction can be that two matches of one rank both take.
-func (m *Match) Ties(o *Match) bool {
-	return m.named() == o.named() && (!m.ranged() || m.From < o.To && o.From < m.To)
+func (m *Match) Overlaps(o *Match) bool {
+	return m.named() == o.named() && (!m.ranged() || m.HashFrom < o.HashTo && o.HashFrom < m.HashTo)
 }
 
 func (m *Match) check() error {
 	switch {
 	case len(m.Class) > 64 || len(m.Tenant) > 255 || len(m.Group) > 1024:
 		return errors.New("class, tenant or group is longer than 64, 255 or 1024 bytes")
-	case m.ranged() && !(m.From >= 0 && m.From < m.To && m.To <= 1):
-		return fmt.Errorf("range %v to %v: want 0 <= from < to <= 1", m.From, m.To)
+	case m.ranged() && !(m.HashFrom >= 0 && m.HashFrom < m.HashTo && m.HashTo <= 1):
+		return fmt.Errorf("range %v to %v: want 0 <= from < to <= 1", m.HashFrom, m.HashTo)
 	case m.ranged() && m.Group != "":
 		return errors.New("a group and a range: want one of them")
 	}
@@ -62,7 +62,7 @@
 	case !goodName(r.Name):
 		return fmt.Errorf("route name %.40q: want a-z, 0-9, '-', '_' and '.', %d letters at most", r.Name, mostName)
 	}
-	if err := d.may(d.key, ActRoutes, op.Path); err != nil {
+	if err := d.may(d.key, PermissionRoutes, op.Path); err != nil {
 		return err
 	}
 	if err := r.check(); err != nil {
@@ -91,15 +91,15 @@
 		return errors.New("contract: longer than 64 bytes")
 	}
 	sum, seen := int64(0), map[string]bool{}
-	for _, p := range r.Parts {
+	for _, p := range r.ZoneShares {
 		if p.Zone == "" || len(p.Zone) > 64 || seen[p.Zone] || !(p.Percent >= 0 && p.Percent <= 100) {
 			return fmt.Errorf("part %.64q, %v %%: want zones once each, 0 to 100 %%", p.Zone, p.Percent)
 		}
 		seen[p.Zone] = true
 		sum += int64(math.Round(p.Percent * thousand))
 	}
-	if len(r.Parts) > mostParts || len(r.Parts) > 0 && sum != 100*thousand {
-		return fmt.Errorf("%d parts of %v %% in all: want at most %d, 100 %% in all", len(r.Parts), float64(sum)/thousand, mostParts)
+	if len(r.ZoneShares) > mostParts || len(r.ZoneShares) > 0 && sum != 100*thousand {
+		return fmt.Errorf("%d parts of %v %% in all: want at most %d, 100 %% in all", len(r.ZoneShares), float64(sum)/thousand, mostParts)
 	}
 	return nil
 }
@@ -109,7 +109,7 @@
 	if d.Routes[path] == nil {
 		return fmt.Errorf("no route %.40q", op.Name)
 	}
-	if err := d.may(d.key, ActRoutes, op.Path); err != nil {
+	if err := d.may(d.key, PermissionRoutes, op.Path); err != nil {
 		return err
 	}
 	delete(d.Routes, path)
@@ -123,7 +123,7 @@
 func (s State) ties(r *Route) error {
 	with := ""
 	for path, o := range s.Routes {
-		if path != r.Path() && o.Match.Ties(&r.Match) && (with == "" || path < with) {
+		if path != r.Path() && o.Match.Overlaps(&r.Match) && (with == "" || path < with) {
 			with = path
 		}
 	}
--- a/internal/fleet/account/scopes.go
+++ b/internal/fleet/account/scopes.go
@@ -34,7 +34,7 @@
 // routeScope holds a route to what its owner may use and match.
 func (s State) routeScope(r *Route) error {
 	sc := s.scope(r.Owner)
-	for _, p := range r.Parts {
+	for _, p := range r.ZoneShares {
 		if len(sc.Zones) > 0 && !slices.Contains(sc.Zones, p.Zone) {
 			return fmt.Errorf("route %q: zone %.64q is none that %q may use", r.Path(), p.Zone, r.Owner)
 		}
--- a/internal/fleet/account/shrink.go
+++ b/internal/fleet/account/shrink.go
@@ -105,11 +105,11 @@
 	if sum <= room {
 		return
 	}
-	if how == Priority {
+	if how == ShrinkByPriority {
 		slices.SortStableFunc(of, func(a, b *child) int { return cmp.Compare(a.priority, b.priority) })
 	}
 	for _, c := range of {
-		if how == Priority {
+		if how == ShrinkByPriority {
 			c.f[i] = min(c.f[i], room)
 		} else {
 			c.f[i] = times(c.f[i], room, sum)
@@ -117,7 +117,7 @@
 		if i >= shared {
 			c.f[i] -= c.f[i] % thousand // counts are whole
 		}
-		if how == Priority {
+		if how == ShrinkByPriority {
 			room -= c.f[i]
 		}
 	}
--- a/internal/fleet/account/sound_test.go
+++ b/internal/fleet/account/sound_test.go
@@ -15,39 +15,39 @@
 // is broken, no routes tie; a change is taken whole or not at all, once, and nothing outside
 // the subtrees of its author's grants is another afterwards. The state lives on as JSON.
 func TestSound(t *testing.T) {
-	acts := []string{ActRoutes, ActLimits, ActTeams, ActGrants, ActContracts}
+	acts := []string{PermissionRoutes, PermissionLimits, PermissionTeams, PermissionGrants, PermissionContracts}
 	rapid.Check(t, func(t *rapid.T) {
 		s := with(t)
 		for range rapid.IntRange(1, 25).Draw(t, "changes") {
 			var ops []Op
 			for range rapid.IntRange(1, 2).Draw(t, "ops") {
 				i, x := byte(rapid.IntRange(1, 5).Draw(t, "key")), rapid.Float64Range(0, 7).Draw(t, "x")
-				do := rapid.SampledFrom([]string{Found, Team, Set, Set, Drop, PutRoute, PutRoute, NoRoute, Give, Give, Revoke}).Draw(t, "do")
+				do := rapid.SampledFrom([]string{CreateAccount, CreateTeam, SetLimits, SetLimits, DeleteNode, PutRoute, PutRoute, DeleteRoute, CreateGrant, CreateGrant, RevokeGrant}).Draw(t, "do")
 				path := rapid.SampledFrom(append(sorted(s.Nodes), "acme")).Draw(t, "path")
-				if do == Team {
+				if do == CreateTeam {
 					path += rapid.SampledFrom([]string{"/eu", "/us"}).Draw(t, "name")
-				} else if do == Found {
+				} else if do == CreateAccount {
 					path = "rival"
 				}
 				op := give(i, path, rapid.IntRange(0, 3).Draw(t, "depth"), rapid.SliceOfNDistinct(rapid.SampledFrom(acts), 1, 4, rapid.ID).Draw(t, "acts")...)
-				op.Do = do
+				op.Kind = do
 				op.Node = &Node{Limits: Limits{x, x / 2, x, x, int(x), int(x / 3)}, Overcommit: rapid.SampledFrom([]float64{0, 1.5}).Draw(t, "over")}
 				if z := rapid.SampledFrom([]string{"", "", "", "a", "b"}).Draw(t, "zone"); z != "" {
 					op.Node.Scope.Zones = []string{z}
 				}
-				op.Shrink = rapid.SampledFrom([]string{"", Proportion, Priority}).Draw(t, "shrink")
-				if op.Name = key(i); do == Revoke && len(s.Grants) > 0 {
+				op.ShrinkPolicy = rapid.SampledFrom([]string{"", ShrinkProportionally, ShrinkByPriority}).Draw(t, "shrink")
+				if op.Name = key(i); do == RevokeGrant && len(s.Grants) > 0 {
 					op.Name, op.Path, _ = strings.Cut(rapid.SampledFrom(sorted(s.Grants)).Draw(t, "grant"), "@")
 				}
-				if op.Do == PutRoute || op.Do == NoRoute {
+				if op.Kind == PutRoute || op.Kind == DeleteRoute {
 					op.Name = fmt.Sprint("r", i)
-					op.Route = &Route{Name: op.Name, Match: Match{Class: rapid.SampledFrom([]string{"", "x"}).Draw(t, "class"), From: 0.1, To: 0.1 + max(x, 0.1)/20},
-						Limits: Limits{Open: -1, Rate: x / 4, Retries: -1, Probes: -1}}
+					op.Route = &Route{Name: op.Name, Match: Match{Class: rapid.SampledFrom([]string{"", "x"}).Draw(t, "class"), HashFrom: 0.1, HashTo: 0.1 + max(x, 0.1)/20},
+						Limits: Limits{Connections: -1, SetupRate: x / 4, RetryRate: -1, ProbeRate: -1}}
 				}
 				ops = append(ops, op)
 			}
 			by := key(rapid.SampledFrom([]byte{0, 0, 0, 1, 1, 2, 3, 4, 5}).Draw(t, "by"))
-			c := Change{Base: s.Version, Ops: ops}
+			c := Change{BaseVersion: s.Version, Ops: ops}
 			before, _ := json.Marshal(s)
 			after, err := s.Apply(c, by)
 			if again, _ := json.Marshal(s); !bytes.Equal(before, again) {
@@ -56,7 +56,7 @@
 			if err != nil {
 				continue
 			}
-			if err := after.Check(); err != nil {
+			if err := after.Validate(); err != nil {
 				t.Fatal(err)
 			}
 			if _, err := after.Apply(c, by); err == nil {
--- a/internal/fleet/account/state.go
+++ b/internal/fleet/account/state.go
@@ -13,23 +13,23 @@
 // State is the tree of accounts with their routes and grants. It is never changed in place:
 // readers may keep it, and must not change what its maps hold.
 type State struct {
-	Version uint64            `json:"version"` // counts the changes taken
-	Root    []byte            `json:"root,omitempty"`
-	Nodes   map[string]*Node  `json:"nodes,omitempty"`   // by path, such as acme/web/eu
-	Routes  map[string]*Route `json:"routes,omitempty"`  // by Route.Path
-	Grants  map[string]*Grant `json:"grants,omitempty"`  // by Grant.ID
-	Dropped uint64            `json:"dropped,omitempty"` // when an account was last taken away
-	Ignore  Guards            `json:"-"`
+	Version               uint64            `json:"version"` // counts the changes taken
+	RootKey               []byte            `json:"root,omitempty"`
+	Nodes                 map[string]*Node  `json:"nodes,omitempty"`   // by path, such as acme/web/eu
+	Routes                map[string]*Route `json:"routes,omitempty"`  // by Route.Path
+	Grants                map[string]*Grant `json:"grants,omitempty"`  // by Grant.ID
+	AccountRemovedVersion uint64            `json:"dropped,omitempty"` // when an account was last taken away
+	DisabledChecks        DisabledChecks    `json:"-"`
 }
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
 // CallBack counts in Deal alone.
-type Guards struct {
-	Parent   bool // a child may hold more than its parent
-	Subtree  bool // a grant reaches every path
-	Revoke   bool // what was handed on stays good when the grant it came from is revoked
-	Half     bool // what comes before the failing part of a change stays
-	CallBack bool // who has lent gets back no more than it uses
+type DisabledChecks struct {
+	ParentLimit       bool // a child may hold more than its parent
+	GrantSubtree      bool // a grant reaches every path
+	RevokeDescendants bool // what was handed on stays good when the grant it came from is revoked
+	AtomicChange      bool // what comes before the failing part of a change stays
+	LendingRecall     bool // who has lent gets back no more than it uses
 }
 
 // The tree is bounded, as every member holds all of it.
@@ -40,7 +40,7 @@
 )
 
 // New returns the state in which only the root key may do anything.
-func New(root []byte) State { return State{Root: root} }
+func New(root []byte) State { return State{RootKey: root} }
 
 // KeyName is what entries and grants call a public key.
 func KeyName(public []byte) string {
@@ -49,28 +49,28 @@
 }
 
 // Public returns the public key of that name, of whoever holds a grant, or of the root.
-func (s State) Public(key string) ([]byte, bool) {
+func (s State) PublicKey(key string) ([]byte, bool) {
 	if s.isRoot(key) {
-		return s.Root, true
+		return s.RootKey, true
 	}
 	for _, g := range s.Grants { // all of one name are of one key
 		if g.Key == key {
-			return g.Public, true
+			return g.PublicKey, true
 		}
 	}
 	return nil, false
 }
 
-func (s State) isRoot(key string) bool { return len(s.Root) > 0 && key == KeyName(s.Root) }
+func (s State) isRoot(key string) bool { return len(s.RootKey) > 0 && key == KeyName(s.RootKey) }
 
 // MayPromise tells whether who has the key may give contracts to a holder: an account, a
 // team, or a route by its path.
-func (s State) MayPromise(key, holder string) error {
+func (s State) AuthorizeContract(key, holder string) error {
 	path, _, ofRoute := strings.Cut(holder, ":")
 	if s.Nodes[path] == nil || ofRoute && s.Routes[holder] == nil {
 		return fmt.Errorf("holder %.80q: no such account, team or route", holder)
 	}
-	return s.may(key, ActContracts, path)
+	return s.may(key, PermissionContracts, path)
 }
 
 // inside tells whether a path is in the subtree of another.
@@ -130,13 +130,13 @@
 }
 
 // Zones returns the zones and regions that an account or team may use; nil for all.
-func (s State) Zones(path string) []string { return s.scope(path).Zones }
+func (s State) AllowedZones(path string) []string { return s.scope(path).Zones }
 
 // Paths returns the accounts' and teams' paths in order.
-func (s State) Paths() []string { return sorted(s.Nodes) }
+func (s State) NodePaths() []string { return sorted(s.Nodes) }
 
 // Given returns the grants by path, then key.
-func (s State) Given() []*Grant {
+func (s State) SortedGrants() []*Grant {
 	all := slices.Collect(maps.Values(s.Grants))
 	slices.SortFunc(all, func(a, b *Grant) int { return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Key, b.Key)) })
 	return all
@@ -144,10 +144,10 @@
 
 // Ordered returns the routes in the order in which they are looked at: the first match is
 // the one that counts.
-func (s State) Ordered() []*Route {
+func (s State) RoutesByPrecedence() []*Route {
 	all := slices.Collect(maps.Values(s.Routes))
 	slices.SortFunc(all, func(a, b *Route) int {
-		return cmp.Or(cmp.Compare(b.Match.Rank(), a.Match.Rank()), cmp.Compare(a.Path(), b.Path()))
+		return cmp.Or(cmp.Compare(b.Match.Specificity(), a.Match.Specificity()), cmp.Compare(a.Path(), b.Path()))
 	})
 	return all
 }
--- a/internal/fleet/account/types.go
+++ b/internal/fleet/account/types.go
@@ -6,41 +6,41 @@
 // Limits bound what an account, a team or a route may use over the whole fleet. A negative
 // figure sets no bound; 0 allows nothing.
 type Limits struct {
-	Open    float64 `json:"open"`    // standing connections
-	Rate    float64 `json:"rate"`    // set-ups a second
-	Retries float64 `json:"retries"` // a second
-	Probes  float64 `json:"probes"`  // a second
-	Routes  int     `json:"routes"`
-	Teams   int     `json:"teams"`
+	Connections float64 `json:"open"`    // standing connections
+	SetupRate   float64 `json:"rate"`    // set-ups a second
+	RetryRate   float64 `json:"retries"` // a second
+	ProbeRate   float64 `json:"probes"`  // a second
+	Routes      int     `json:"routes"`
+	Teams       int     `json:"teams"`
 }
 
 // Match says which transactions a route takes. Empty fields take all.
 type Match struct {
-	Class    string  `json:"class,omitempty"`
-	Tenant   string  `json:"tenant,omitempty"` // the realm, where the settings have it
-	Group    string  `json:"group,omitempty"`  // one group's key
-	From     float64 `json:"from,omitempty"`   // a range of the group's hash over all, from 0 up to below 1
-	To       float64 `json:"to,omitempty"`     // 0 and 0 for all
-	Returned *bool   `json:"returned,omitempty"`
-	Retry    *bool   `json:"retry,omitempty"`
+	Class     string  `json:"class,omitempty"`
+	Tenant    string  `json:"tenant,omitempty"` // the realm, where the settings have it
+	Group     string  `json:"group,omitempty"`  // one group's key
+	HashFrom  float64 `json:"from,omitempty"`   // a range of the group's hash over all, from 0 up to below 1
+	HashTo    float64 `json:"to,omitempty"`     // 0 and 0 for all
+	Returning *bool   `json:"returned,omitempty"`
+	Retry     *bool   `json:"retry,omitempty"`
 }
 
 // Part is a zone or region that a route may use, and how much of the route goes there.
-type Part struct {
+type ZoneShare struct {
 	Zone    string  `json:"zone"`
 	Percent float64 `json:"percent"`
 }
 
 // Route says where transactions that match may go.
 type Route struct {
-	Name     string `json:"name"` // within its owner
-	Owner    string `json:"owner"`
-	Match    Match  `json:"match"`
-	Parts    []Part `json:"parts,omitempty"` // empty for all that the owner may use
-	Limits   Limits `json:"limits"`
-	Contract string `json:"contract,omitempty"`
-	Priority int    `json:"priority,omitempty"` // the lower keeps longest when its owner is cut
-	Version  uint64 `json:"version,omitempty"`  // of the State, when it was last changed
+	Name       string      `json:"name"` // within its owner
+	Owner      string      `json:"owner"`
+	Match      Match       `json:"match"`
+	ZoneShares []ZoneShare `json:"parts,omitempty"` // empty for all that the owner may use
+	Limits     Limits      `json:"limits"`
+	Contract   string      `json:"contract,omitempty"`
+	Priority   int         `json:"priority,omitempty"` // the lower keeps longest when its owner is cut
+	Version    uint64      `json:"version,omitempty"`  // of the State, when it was last changed
 }
 
 // Path is how limits, contracts and counts name the route: owner, colon, name.
@@ -56,34 +56,34 @@
 
 // Node is an account, or a team in one.
 type Node struct {
-	Limits     Limits  `json:"limits"`
-	Overcommit float64 `json:"overcommit,omitempty"` // children may hold so many times the limits; from 1 on, 0 is 1
-	Scope      Scope   `json:"scope,omitzero"`
-	Priority   int     `json:"priority,omitempty"` // the lower keeps longest when its parent is cut
-	Born       uint64  `json:"born,omitempty"`     // Version of the State when it was added,
-	Version    uint64  `json:"version,omitempty"`  // last changed,
-	Dropped    uint64  `json:"dropped,omitempty"`  // and when a team, route or grant of it was last taken away
+	Limits              Limits  `json:"limits"`
+	Overcommit          float64 `json:"overcommit,omitempty"` // children may hold so many times the limits; from 1 on, 0 is 1
+	Scope               Scope   `json:"scope,omitzero"`
+	Priority            int     `json:"priority,omitempty"` // the lower keeps longest when its parent is cut
+	CreatedVersion      uint64  `json:"born,omitempty"`     // Version of the State when it was added,
+	Version             uint64  `json:"version,omitempty"`  // last changed,
+	ChildRemovedVersion uint64  `json:"dropped,omitempty"`  // and when a team, route or grant of it was last taken away
 }
 
 // Acts that a grant may allow.
 const (
-	ActRoutes    = "routes"
-	ActLimits    = "limits"
-	ActTeams     = "teams"
-	ActGrants    = "grants"
-	ActContracts = "contracts"
+	PermissionRoutes    = "routes"
+	PermissionLimits    = "limits"
+	PermissionTeams     = "teams"
+	PermissionGrants    = "grants"
+	PermissionContracts = "contracts"
 )
 
 // Grant lets who has a key act on a subtree.
 type Grant struct {
-	Key     string   `json:"key"`    // KeyName of Public
-	Public  []byte   `json:"public"` // Ed25519
-	Path    string   `json:"path"`
-	Acts    []string `json:"acts"`
-	Depth   int      `json:"depth"`          // how many times it may be handed on, one below the other
-	By      string   `json:"by,omitempty"`   // key that gave it
-	From    string   `json:"from,omitempty"` // ID of the grant by which it was given; empty for the root's
-	Version uint64   `json:"version,omitempty"`
+	Key             string   `json:"key"`    // KeyName of Public
+	PublicKey       []byte   `json:"public"` // Ed25519
+	Path            string   `json:"path"`
+	Permissions     []string `json:"acts"`
+	DelegationDepth int      `json:"depth"`          // how many times it may be handed on, one below the other
+	GrantedBy       string   `json:"by,omitempty"`   // key that gave it
+	ParentID        string   `json:"from,omitempty"` // ID of the grant by which it was given; empty for the root's
+	Version         uint64   `json:"version,omitempty"`
 }
 
 // ID names a grant: a key has one at most on each path.
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -96,8 +96,8 @@
 				said.Table = wire.Index
 			}
 			if r, ok := gathered.Rights(&told); ok {
-				raw, _ := json.Marshal(r.Paths)
-				w.write("agent", "to its node: rights of half %d %s", r.Half%2, raw)
+				raw, _ := json.Marshal(r.Allocated)
+				w.write("agent", "to its node: rights of half %d %s", r.HalfEpoch%2, raw)
 			}
 		}
 		const route = `"limits":{"open":-1,"rate":%d,"retries":-1,"probes":-1}`
@@ -132,20 +132,20 @@
 // What a word that was cut does not name counts as used as much as the most of what was left
 // out; nobody's limits that need no reckoning are filled in, and others' words stay whole.
 func TestCutWords(t *testing.T) {
-	free := account.Limits{Open: 5, Rate: -1, Retries: -1, Probes: -1}
+	free := account.Limits{Connections: 5, SetupRate: -1, RetryRate: -1, ProbeRate: -1}
 	s := &logentry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
 	word := func(half int64, rest float64) gossip.Use {
-		return gossip.Use{Use: account.Use{Member: "n", Half: half, Prior: map[string]account.Figures{"x": {Rate: 9}}}, Rest: account.Figures{Rate: rest}}
+		return gossip.Use{Usage: account.Usage{Member: "n", HalfEpoch: half, UsedBefore: map[string]account.Amounts{"x": {Setups: 9}}}, Rest: account.Amounts{Setups: rest}}
 	}
 	for _, tt := range []struct {
 		use  gossip.Use
-		want map[string]account.Figures
+		want map[string]account.Amounts
 	}{
-		{word(7, 2), map[string]account.Figures{"x": {Rate: 9}, "z": {Rate: 2}}},
-		{word(7, 0), map[string]account.Figures{"x": {Rate: 9}}},
-		{word(5, 2), map[string]account.Figures{"x": {Rate: 9}}},
+		{word(7, 2), map[string]account.Amounts{"x": {Setups: 9}, "z": {Setups: 2}}},
+		{word(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
+		{word(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
 	} {
-		if got := whole([]gossip.Use{tt.use}, s, 7)[0].Prior; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+		if got := whole([]gossip.Use{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
 		}
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -40,8 +40,8 @@
 	Clock      func() time.Duration
 	Together   bool // a guard taken out: decide alone though the record is heard
 	Guards     zonestatus.Guards
-	Promises   *Promises           // nil where contracts are not kept
-	Accounts   *account.DealConfig // nil where routes and limits are not told
+	Promises   *Promises            // nil where contracts are not kept
+	Accounts   *account.LeaseConfig // nil where routes and limits are not told
 }
 
 // Agent answers a node and operators: it is a link.Agent.
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -26,29 +26,29 @@
 
 // dealing is what the node may use of accounts' limits.
 type dealing struct {
-	cfg account.DealConfig
+	cfg account.LeaseConfig
 
 	jobs chan job // holds one at most
 
 	mu     sync.Mutex
 	busy   bool // a deal is under way
-	own    account.Use
-	last   account.Rights
+	own    account.Usage
+	last   account.QuotaLease
 	number uint64 // of the last deal: when it was made, or later
 	even   uint64 // the first deal that had its even parts
 	heard  int    // members that had been heard of for it
 	made   time.Duration
 	cost   time.Duration
-	parts  [2][]account.Rights // with even parts, and without
+	parts  [2][]account.QuotaLease // with even parts, and without
 }
 
 // job is what one deal is made of.
 type job struct {
 	now   time.Duration
 	view  replog.View
-	own   account.Use
+	own   account.Usage
 	uses  []gossip.Use
-	among account.Rights
+	among account.QuotaLease
 	done  chan struct{}
 }
 
@@ -76,21 +76,21 @@
 	word := s.Uses != nil
 	if word {
 		d.own = *s.Uses
-		d.own.Member, d.own.At = a.Name, now
-		if d.own.Sound() {
+		d.own.Member, d.own.ReportedAt = a.Name, now
+		if d.own.IsValid() {
 			a.Member.Used(d.own)
 		} else {
-			d.own = account.Use{Member: a.Name, At: now}
+			d.own = account.Usage{Member: a.Name, ReportedAt: now}
 		}
 	}
 	uses := a.Member.Uses()
 	half, heard := int64(now/(d.cfg.Epoch/2)), 0
 	for _, u := range uses {
-		if u.Half == half {
+		if u.HalfEpoch == half {
 			heard++
 		}
 	}
-	if due := d.number == 0 || half != d.last.Half || (word || half%2 == 1 && heard > d.heard) && now >= d.made+spared*d.cost; due && !d.busy {
+	if due := d.number == 0 || half != d.last.HalfEpoch || (word || half%2 == 1 && heard > d.heard) && now >= d.made+spared*d.cost; due && !d.busy {
 		d.busy, d.heard = true, heard
 		j := job{now, v, d.own, uses, d.among(a), make(chan struct{})}
 		d.jobs <- j
@@ -118,37 +118,37 @@
 		return
 	}
 	r := parts[piece]
-	r.Until -= a.Offset // the node's clock is the machine's
+	r.ExpiresAt -= a.Offset // the node's clock is the machine's
 	to.Rights, to.Deal, to.Pieces, to.More = &r, d.number, len(parts), piece+1 < len(parts)
 }
 
 // deal reckons this half's rights anew. Who has not heard the record for the hold goes by its
 // even part.
-func (d *dealing) deal(a *Agent, j job) (r account.Rights) {
+func (d *dealing) deal(a *Agent, j job) (r account.QuotaLease) {
 	tree := j.view.State.Accounts
-	if a.lost(j.now, j.view, d.cfg.Hold) {
-		r = account.Alone(j.now, d.cfg, tree, j.own, j.among)
+	if a.lost(j.now, j.view, d.cfg.HolderTimeout) {
+		r = account.AllocateEvenShare(j.now, d.cfg, tree, j.own, j.among)
 	} else {
-		r = account.Deal(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Member.Holders(), a.Name)
+		r = account.Allocate(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Member.Holders(), a.Name)
 	}
-	for _, m := range []map[string]account.Figures{r.Paths, r.Even} { // no bound is what the node takes silence for
-		maps.DeleteFunc(m, func(_ string, f account.Figures) bool {
-			return f.Open < 0 && f.Rate < 0 && f.Retries < 0 && f.Probes < 0
+	for _, m := range []map[string]account.Amounts{r.Allocated, r.EvenShares} { // no bound is what the node takes silence for
+		maps.DeleteFunc(m, func(_ string, f account.Amounts) bool {
+			return f.Connections < 0 && f.Setups < 0 && f.Retries < 0 && f.Probes < 0
 		})
 	}
 	return r
 }
 
 // take tells the node of a deal from now on, if it is another than the last.
-func (d *dealing) take(a *Agent, j job, r account.Rights) {
+func (d *dealing) take(a *Agent, j job, r account.QuotaLease) {
 	bare := r
-	bare.Even = nil
-	parts := [2][]account.Rights{agentapi.RightsParts(r, agentapi.Part), agentapi.RightsParts(bare, agentapi.Part)}
+	bare.EvenShares = nil
+	parts := [2][]account.QuotaLease{agentapi.RightsParts(r, agentapi.Part), agentapi.RightsParts(bare, agentapi.Part)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.busy, d.made, d.cost = false, j.now, a.Clock()-j.now
-	same := maps.Equal(r.Even, d.last.Even) && r.Place == d.last.Place && r.Of == d.last.Of
-	if d.number != 0 && same && r.Half == d.last.Half && maps.Equal(r.Paths, d.last.Paths) {
+	same := maps.Equal(r.EvenShares, d.last.EvenShares) && r.HolderRank == d.last.HolderRank && r.HolderCount == d.last.HolderCount
+	if d.number != 0 && same && r.HalfEpoch == d.last.HalfEpoch && maps.Equal(r.Allocated, d.last.Allocated) {
 		return
 	}
 	d.number = max(uint64(j.now), d.number+1)
@@ -170,36 +170,36 @@
 }
 
 // among is what an even part is a part of: what it was at the last deal.
-func (d *dealing) among(a *Agent) account.Rights {
-	if d.last.Of > 0 {
+func (d *dealing) among(a *Agent) account.QuotaLease {
+	if d.last.HolderCount > 0 {
 		return d.last
 	}
 	holders := a.Member.Holders()
-	return account.Rights{Place: max(slices.Index(holders, a.Name), 0), Of: max(d.cfg.Full, len(holders), 1)}
+	return account.QuotaLease{HolderRank: max(slices.Index(holders, a.Name), 0), HolderCount: max(d.cfg.FleetSize, len(holders), 1)}
 }
 
 // whole returns words as the deal takes them. What a word that was cut does not name counts
 // as used as much as it says of the rest.
-func whole(uses []gossip.Use, s *logentry.State, half int64) (all []account.Use) {
+func whole(uses []gossip.Use, s *logentry.State, half int64) (all []account.Usage) {
 	var bound []string
 	filled := 0
 	for _, u := range uses {
-		if u.Half == half && u.Rest != (account.Figures{}) {
+		if u.HalfEpoch == half && u.Rest != (account.Amounts{}) {
 			if bound == nil {
 				bound = limited(s.Accounts)
 			}
 			if filled += len(bound); filled > mostFilled {
 				continue
 			}
-			prior := maps.Clone(u.Prior)
+			prior := maps.Clone(u.UsedBefore)
 			for _, path := range bound {
 				if _, ok := prior[path]; !ok {
 					prior[path] = u.Rest
 				}
 			}
-			u.Prior = prior
+			u.UsedBefore = prior
 		}
-		all = append(all, u.Use)
+		all = append(all, u.Usage)
 	}
 	return all
 }
@@ -207,7 +207,7 @@
 // limited are the paths that have a limit which is dealt again in an epoch's second half.
 func limited(s account.State) []string {
 	paths := []string{}
-	bound := func(l account.Limits) bool { return l.Rate >= 0 || l.Retries >= 0 || l.Probes >= 0 }
+	bound := func(l account.Limits) bool { return l.SetupRate >= 0 || l.RetryRate >= 0 || l.ProbeRate >= 0 }
 	for path, n := range s.Nodes {
 		if bound(n.Limits) {
 			paths = append(paths, path)
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -105,7 +105,7 @@
 		m.Saw(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
 	w.agent = New(Options{Name: "n1", Zone: "a", Member: m, Record: w.ledger, Zones: &cfg, Lease: 2 * time.Second, Clock: clock,
-		Accounts: &account.DealConfig{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Full: 6}})
+		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6}})
 	l := &pipes{made: make(chan net.Conn), closed: make(chan struct{})}
 	w.dial = l.dial
 	go func() {
--- a/internal/fleet/agentapi/parts.go
+++ b/internal/fleet/agentapi/parts.go
@@ -49,11 +49,11 @@
 }
 
 // RightsParts cuts rights into parts, at least one.
-func RightsParts(r account.Rights, most int) []account.Rights {
+func RightsParts(r account.QuotaLease, most int) []account.QuotaLease {
 	head := r
-	head.Paths, head.Even = nil, nil
-	parts, size := []account.Rights{head}, 0
-	at := func(path string, f account.Figures) *account.Rights {
+	head.Allocated, head.EvenShares = nil, nil
+	parts, size := []account.QuotaLease{head}, 0
+	at := func(path string, f account.Amounts) *account.QuotaLease {
 		n := sizeOf(path) + sizeOf(f)
 		if size > 0 && size+n > most {
 			parts, size = append(parts, head), 0
@@ -61,20 +61,20 @@
 		size += n
 		return &parts[len(parts)-1]
 	}
-	for _, path := range slices.Sorted(maps.Keys(r.Paths)) {
-		p := at(path, r.Paths[path])
-		put(&p.Paths, path, r.Paths[path])
+	for _, path := range slices.Sorted(maps.Keys(r.Allocated)) {
+		p := at(path, r.Allocated[path])
+		put(&p.Allocated, path, r.Allocated[path])
 	}
-	for _, path := range slices.Sorted(maps.Keys(r.Even)) {
-		p := at(path, r.Even[path])
-		put(&p.Even, path, r.Even[path])
+	for _, path := range slices.Sorted(maps.Keys(r.EvenShares)) {
+		p := at(path, r.EvenShares[path])
+		put(&p.EvenShares, path, r.EvenShares[path])
 	}
 	return parts
 }
 
-func put(m *map[string]account.Figures, path string, f account.Figures) {
+func put(m *map[string]account.Amounts, path string, f account.Amounts) {
 	if *m == nil {
-		*m = map[string]account.Figures{}
+		*m = map[string]account.Amounts{}
 	}
 	(*m)[path] = f
 }
@@ -94,9 +94,9 @@
 	table  route.Wire
 	parts  int
 	deal   uint64
-	rights account.Rights
+	rights account.QuotaLease
 	pieces int
-	even   map[string]account.Figures // of the last deal that is whole,
+	even   map[string]account.Amounts // of the last deal that is whole,
 	whole  uint64                     // and its number
 }
 
@@ -125,27 +125,27 @@
 }
 
 // Rights takes an answer's part of rights, and returns them once they are whole.
-func (g *Gathering) Rights(t *Told) (account.Rights, bool) {
+func (g *Gathering) Rights(t *Told) (account.QuotaLease, bool) {
 	switch {
 	case t.Rights == nil:
-		return account.Rights{}, false
+		return account.QuotaLease{}, false
 	case g.pieces > 0 && t.Deal == g.deal:
 	default:
 		g.deal, g.pieces = t.Deal, 0
 		g.rights = *t.Rights
-		g.rights.Paths, g.rights.Even = map[string]account.Figures{}, nil
+		g.rights.Allocated, g.rights.EvenShares = map[string]account.Amounts{}, nil
 	}
-	maps.Copy(g.rights.Paths, t.Rights.Paths)
-	for path, f := range t.Rights.Even {
-		put(&g.rights.Even, path, f)
+	maps.Copy(g.rights.Allocated, t.Rights.Allocated)
+	for path, f := range t.Rights.EvenShares {
+		put(&g.rights.EvenShares, path, f)
 	}
 	if g.pieces++; g.pieces < t.Pieces {
-		return account.Rights{}, false
+		return account.QuotaLease{}, false
 	}
 	r := g.rights
-	if r.Even == nil {
-		r.Even = g.even
+	if r.EvenShares == nil {
+		r.EvenShares = g.even
 	}
-	g.even, g.whole, g.rights = r.Even, g.deal, account.Rights{}
+	g.even, g.whole, g.rights = r.EvenShares, g.deal, account.QuotaLease{}
 	return r, true
 }
--- a/internal/fleet/agentapi/parts_test.go
+++ b/internal/fleet/agentapi/parts_test.go
@@ -28,13 +28,13 @@
 	return w
 }
 
-func dealt(paths int, even bool) account.Rights {
-	r := account.Rights{Half: 7, Of: 3, Paths: map[string]account.Figures{}}
+func dealt(paths int, even bool) account.QuotaLease {
+	r := account.QuotaLease{HalfEpoch: 7, HolderCount: 3, Allocated: map[string]account.Amounts{}}
 	for i := range paths {
-		r.Paths[fmt.Sprint("account/team:", i)] = account.Figures{Open: -1, Rate: float64(i), Retries: -1, Probes: -1}
+		r.Allocated[fmt.Sprint("account/team:", i)] = account.Amounts{Connections: -1, Setups: float64(i), Retries: -1, Probes: -1}
 	}
 	if even {
-		r.Even = maps.Clone(r.Paths)
+		r.EvenShares = maps.Clone(r.Allocated)
 	}
 	return r
 }
@@ -50,7 +50,7 @@
 		g := Gathering{}
 		before := dealt(2, true)
 		g.Rights(&Told{Rights: &before, Deal: 1, Pieces: 1})
-		left := Told{Table: &route.Wire{Index: 8, Gone: []string{"of another"}}, Parts: 2, Rights: &account.Rights{Half: 6, Paths: before.Paths}, Deal: 2, Pieces: 2}
+		left := Told{Table: &route.Wire{Index: 8, Gone: []string{"of another"}}, Parts: 2, Rights: &account.QuotaLease{HalfEpoch: 6, Allocated: before.Allocated}, Deal: 2, Pieces: 2}
 		g.Table(&left)
 		g.Rights(&left)
 		for i := range tables {
@@ -60,8 +60,8 @@
 				t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(tables), ok, got, w)
 			}
 		}
-		if r.Even == nil {
-			r.Even = before.Even
+		if r.EvenShares == nil {
+			r.EvenShares = before.EvenShares
 		}
 		for i := range rights {
 			told := Told{Rights: &rights[i], Deal: 3, Pieces: len(rights)}
--- a/internal/fleet/agentapi/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -33,25 +33,25 @@
 type (
 	Said struct {
 		balance.QuotaUsage
-		Table     uint64       `json:"table,omitempty"`     // index of the table that the node has
-		Toward    uint64       `json:"toward,omitempty"`    // of the one that it is being told,
-		Part      int          `json:"part,omitempty"`      // of which it has so many parts
-		Deal      uint64       `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
-		Piece     int          `json:"piece,omitempty"`     // of which it has so many parts
-		Even      uint64       `json:"even,omitempty"`      // the last that it has whole
-		Uses      *account.Use `json:"uses,omitempty"`      // what it has used, without member and time
-		Samples   []slo.Sample `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
-		Contracts uint64       `json:"contracts,omitempty"` // version of those that the node counts by
+		Table     uint64         `json:"table,omitempty"`     // index of the table that the node has
+		Toward    uint64         `json:"toward,omitempty"`    // of the one that it is being told,
+		Part      int            `json:"part,omitempty"`      // of which it has so many parts
+		Deal      uint64         `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
+		Piece     int            `json:"piece,omitempty"`     // of which it has so many parts
+		Even      uint64         `json:"even,omitempty"`      // the last that it has whole
+		Uses      *account.Usage `json:"uses,omitempty"`      // what it has used, without member and time
+		Samples   []slo.Sample   `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
+		Contracts uint64         `json:"contracts,omitempty"` // version of those that the node counts by
 	}
 	Told struct {
 		balance.QuotaLease
-		Table    *route.Wire     `json:"table,omitempty"`    // nil for no news
-		Parts    int             `json:"parts,omitempty"`    // of the table's news, all told
-		Rights   *account.Rights `json:"rights,omitempty"`   // nil for no news
-		Deal     uint64          `json:"deal,omitempty"`     // their number
-		Pieces   int             `json:"pieces,omitempty"`   // of the deal, all told
-		More     bool            `json:"more,omitempty"`     // is to be asked for at once
-		Promised *Promised       `json:"promised,omitempty"` // nil for as before
+		Table    *route.Wire         `json:"table,omitempty"`    // nil for no news
+		Parts    int                 `json:"parts,omitempty"`    // of the table's news, all told
+		Rights   *account.QuotaLease `json:"rights,omitempty"`   // nil for no news
+		Deal     uint64              `json:"deal,omitempty"`     // their number
+		Pieces   int                 `json:"pieces,omitempty"`   // of the deal, all told
+		More     bool                `json:"more,omitempty"`     // is to be asked for at once
+		Promised *Promised           `json:"promised,omitempty"` // nil for as before
 	}
 )
 
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -37,9 +37,9 @@
 func storedUsed() (used, Use) {
 	datagram := used{Member: "node-b", Half: 201, Paths: map[string]made{"acme": {202, 203, 204}, "acme/web:r": {205, 206, 207}}, Rest: made{208, 209, 210}}
 	return datagram, Use{
-		Use: account.Use{Member: "node-b", At: storedNow, Half: 201, Prior: map[string]account.Figures{
-			"acme": {Rate: 202, Retries: 203, Probes: 204}, "acme/web:r": {Rate: 205, Retries: 206, Probes: 207}}},
-		Rest: account.Figures{Rate: 208, Retries: 209, Probes: 210},
+		Usage: account.Usage{Member: "node-b", ReportedAt: storedNow, HalfEpoch: 201, UsedBefore: map[string]account.Amounts{
+			"acme": {Setups: 202, Retries: 203, Probes: 204}, "acme/web:r": {Setups: 205, Retries: 206, Probes: 207}}},
+		Rest: account.Amounts{Setups: 208, Retries: 209, Probes: 210},
 	}
 }
 
--- a/internal/fleet/gossip/uses.go
+++ b/internal/fleet/gossip/uses.go
@@ -26,17 +26,17 @@
 // usedBegins is how a datagram of it begins. Older members take it for an empty report.
 const usedBegins = `{"used":`
 
-func madeOf(f account.Figures) made { return made{f.Rate, f.Retries, f.Probes} }
+func madeOf(f account.Amounts) made { return made{f.Setups, f.Retries, f.Probes} }
 
-func (m made) figures() account.Figures {
-	return account.Figures{Rate: m[0], Retries: m[1], Probes: m[2]}
+func (m made) figures() account.Amounts {
+	return account.Amounts{Setups: m[0], Retries: m[1], Probes: m[2]}
 }
 
 // Use is a member's word on what it uses. Where it was too long for a datagram, no path that
 // it does not name was used more than Rest in the half before.
 type Use struct {
-	account.Use
-	Rest account.Figures
+	account.Usage
+	Rest account.Amounts
 }
 
 // pack writes it, with as many paths as fit a datagram.
@@ -66,17 +66,17 @@
 }
 
 // Used takes what this member's node uses, and spreads what others are to know of it.
-func (a *Agent) Used(u account.Use) {
+func (a *Agent) Used(u account.Usage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u.Member = a.name
 	was, known := a.uses[a.name]
-	a.uses[a.name] = Use{Use: u}
-	if u.Half%2 == 0 || known && was.Half == u.Half && len(a.raw[a.name]) > 0 {
+	a.uses[a.name] = Use{Usage: u}
+	if u.HalfEpoch%2 == 0 || known && was.HalfEpoch == u.HalfEpoch && len(a.raw[a.name]) > 0 {
 		return
 	}
-	w := used{Member: a.name, Half: u.Half, Paths: make(map[string]made, len(u.Prior))}
-	for path, f := range u.Prior {
+	w := used{Member: a.name, Half: u.HalfEpoch, Paths: make(map[string]made, len(u.UsedBefore))}
+	for path, f := range u.UsedBefore {
 		if m := madeOf(f); m != (made{}) {
 			w.Paths[path] = m
 		}
@@ -93,13 +93,13 @@
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return "", false, err
 	}
-	u := Use{Use: account.Use{Member: w.Member, At: a.clock(), Half: w.Half, Prior: make(map[string]account.Figures, len(w.Paths))}, Rest: w.Rest.figures()}
+	u := Use{Usage: account.Usage{Member: w.Member, ReportedAt: a.clock(), HalfEpoch: w.Half, UsedBefore: make(map[string]account.Amounts, len(w.Paths))}, Rest: w.Rest.figures()}
 	for path, m := range w.Paths {
-		u.Prior[path] = m.figures()
+		u.UsedBefore[path] = m.figures()
 	}
-	rest := account.Use{Member: w.Member, Prior: map[string]account.Figures{"": u.Rest}}
+	rest := account.Usage{Member: w.Member, UsedBefore: map[string]account.Amounts{"": u.Rest}}
 	_, there := a.state.Members()[w.Member]
-	if old, ok := a.uses[w.Member]; !there || w.Member == a.name || ok && old.Half >= u.Half || !u.Sound() || !rest.Sound() {
+	if old, ok := a.uses[w.Member]; !there || w.Member == a.name || ok && old.HalfEpoch >= u.HalfEpoch || !u.IsValid() || !rest.IsValid() {
 		return "", false, nil
 	}
 	a.uses[w.Member], a.raw[w.Member] = u, slices.Clone(raw)
--- a/internal/fleet/gossip/uses_test.go
+++ b/internal/fleet/gossip/uses_test.go
@@ -21,11 +21,11 @@
 				sent = append(sent, raw)
 			}
 		}
-		u := account.Use{Half: 11, Prior: map[string]account.Figures{}}
+		u := account.Usage{HalfEpoch: 11, UsedBefore: map[string]account.Amounts{}}
 		for i := range paths {
-			u.Prior[fmt.Sprint("acme/web:route-", i)] = account.Figures{Rate: float64(i + 1), Open: 7}
+			u.UsedBefore[fmt.Sprint("acme/web:route-", i)] = account.Amounts{Setups: float64(i + 1), Connections: 7}
 		}
-		a.Used(account.Use{Half: 10, Prior: u.Prior})
+		a.Used(account.Usage{HalfEpoch: 10, UsedBefore: u.UsedBefore})
 		a.Used(u)
 		a.Used(u)
 		if len(sent) != 1 || len(sent[0]) > largest {
@@ -42,15 +42,15 @@
 		b.Hear([]byte(`{"used":"b","half":12,"paths":{}}`))
 		b.Hear([]byte(`{"used":7}`))
 		got := b.Uses()
-		if len(got) != 1 || got[0].Member != "a" || got[0].Half != 11 {
+		if len(got) != 1 || got[0].Member != "a" || got[0].HalfEpoch != 11 {
 			t.Fatalf("%d paths: %+v", paths, got)
 		}
-		for path, f := range u.Prior {
-			if has, ok := got[0].Prior[path]; ok && has.Rate != f.Rate || !ok && f.Rate > got[0].Rest.Rate {
+		for path, f := range u.UsedBefore {
+			if has, ok := got[0].UsedBefore[path]; ok && has.Setups != f.Setups || !ok && f.Setups > got[0].Rest.Setups {
 				t.Errorf("%d paths: %s: %+v, rest %+v", paths, path, has, got[0].Rest)
 			}
 		}
-		if (got[0].Rest.Rate > 0) != (paths == 500) {
+		if (got[0].Rest.Setups > 0) != (paths == 500) {
 			t.Errorf("%d paths: rest %+v", paths, got[0].Rest)
 		}
 		b.Saw("a", quota.Left, nil)
--- a/internal/fleet/logentry/entry.go
+++ b/internal/fleet/logentry/entry.go
@@ -63,9 +63,9 @@
 // Genesis is what all members are given alike before the first entry. Members who differ in
 // it have other hashes from the start, and never take each other's entries.
 type Genesis struct {
-	RootKey        []byte            `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
-	Zones          zonestatus.Config `json:"zone"`
-	DisabledGuards account.Guards    `json:"-"` // of accounts, for a rig; each member's own
+	RootKey        []byte                 `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
+	Zones          zonestatus.Config      `json:"zone"`
+	DisabledGuards account.DisabledChecks `json:"-"` // of accounts, for a rig; each member's own
 }
 
 // Hash is of a chain: of its last entry and of all before it.
--- a/internal/fleet/logentry/entry_test.go
+++ b/internal/fleet/logentry/entry_test.go
@@ -144,7 +144,7 @@
 		}
 	}
 	// What is signed with spaces in it, or with letters that JSON escapes, travels.
-	body, _ := json.Marshal(account.Change{Ops: []account.Op{{Do: account.Found, Path: "<&>"}}})
+	body, _ := json.Marshal(account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "<&>"}}})
 	odd := Entry{Kind: KindAccounts, KeyName: account.KeyName(public), Body: []byte(strings.ReplaceAll(string(body), `\u003c`, "<"))}
 	odd.Signature = ed25519.Sign(private, odd.SignedBytes())
 	if err := s.Check(raw(t, odd)); err == nil || strings.Contains(err.Error(), "signature") {
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	s := &State{Genesis: g, Hash: sha256.Sum256(raw), Accounts: account.New(g.RootKey)}
-	s.Accounts.Ignore = g.DisabledGuards
+	s.Accounts.DisabledChecks = g.DisabledGuards
 	return s, nil
 }
 
@@ -63,7 +63,7 @@
 	if !bytes.Equal(theirs, ours) {
 		return errors.New("state: of another beginning, root or zones differ")
 	}
-	s.Genesis, s.Accounts.Ignore = g, g.DisabledGuards
+	s.Genesis, s.Accounts.DisabledChecks = g, g.DisabledGuards
 	return nil
 }
 
@@ -128,7 +128,7 @@
 			err = errMembers
 		}
 		if err == nil {
-			next.Contracts, err = s.Contracts.Apply(c, e.ProposedAt, func(holder string) error { return s.Accounts.MayPromise(e.KeyName, holder) })
+			next.Contracts, err = s.Contracts.Apply(c, e.ProposedAt, func(holder string) error { return s.Accounts.AuthorizeContract(e.KeyName, holder) })
 		}
 	case KindSettings:
 		err = errors.New("no entry of this kind is taken yet")
@@ -150,7 +150,7 @@
 		}
 		return nil
 	}
-	public, ok := s.Accounts.Public(e.KeyName)
+	public, ok := s.Accounts.PublicKey(e.KeyName)
 	if !ok {
 		return fmt.Errorf("key %.40q: nobody's", e.KeyName)
 	}
--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -73,17 +73,17 @@
 	_, key4, name4 := storedKey(4)
 	zones := []string{"a", "b", "c", "d", "e"}
 	acme := &account.Node{
-		Limits: account.Limits{Open: 1000, Rate: 200, Retries: 50, Probes: 20, Routes: 8, Teams: 4}, Overcommit: 1.5, Priority: 5,
+		Limits: account.Limits{Connections: 1000, SetupRate: 200, RetryRate: 50, ProbeRate: 20, Routes: 8, Teams: 4}, Overcommit: 1.5, Priority: 5,
 		Scope: account.Scope{Zones: []string{"a", "b", "c"}, Tenants: []string{"t1", "t2"}, Classes: []string{"c1", "c2"}}}
-	web := &account.Node{Limits: account.Limits{Open: 300, Rate: 60, Retries: 15, Probes: 6, Routes: 2, Teams: 1}, Priority: 1}
+	web := &account.Node{Limits: account.Limits{Connections: 300, SetupRate: 60, RetryRate: 15, ProbeRate: 6, Routes: 2, Teams: 1}, Priority: 1}
 	lessWeb := &account.Node{
-		Limits: account.Limits{Open: 250, Rate: 55, Retries: 14, Probes: 5, Routes: 2, Teams: 1}, Overcommit: 1.25, Priority: 7,
+		Limits: account.Limits{Connections: 250, SetupRate: 55, RetryRate: 14, ProbeRate: 5, Routes: 2, Teams: 1}, Overcommit: 1.25, Priority: 7,
 		Scope: account.Scope{Zones: []string{"a", "b"}}}
 	eu := &account.Route{
-		Name: "eu", Owner: "acme", Contract: "k1", Priority: 3, Parts: []account.Part{{Zone: "a", Percent: 60}, {Zone: "b", Percent: 40}},
-		Match:  account.Match{Class: "c1", Tenant: "t1", Group: "g1", Returned: new(true), Retry: new(false)},
-		Limits: account.Limits{Open: 30.5, Rate: 6.25, Retries: 1.5, Probes: 0.5, Routes: 1, Teams: 2}}
-	half := &account.Route{Name: "half", Match: account.Match{Class: "c2", Tenant: "t2", From: 0.25, To: 0.75}}
+		Name: "eu", Owner: "acme", Contract: "k1", Priority: 3, ZoneShares: []account.ZoneShare{{Zone: "a", Percent: 60}, {Zone: "b", Percent: 40}},
+		Match:  account.Match{Class: "c1", Tenant: "t1", Group: "g1", Returning: new(true), Retry: new(false)},
+		Limits: account.Limits{Connections: 30.5, SetupRate: 6.25, RetryRate: 1.5, ProbeRate: 0.5, Routes: 1, Teams: 2}}
+	half := &account.Route{Name: "half", Match: account.Match{Class: "c2", Tenant: "t2", HashFrom: 0.25, HashTo: 0.75}}
 	gone := &account.Route{Name: "gone", Match: account.Match{Class: "c1", Tenant: "t1"}}
 	k1 := slo.Contract{
 		Name: "k1", Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Messages: true, Window: time.Minute, Share: 0.99,
@@ -93,29 +93,29 @@
 	k3 := slo.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Bound: time.Second, Window: 20 * time.Second, Share: 0.97}
 	return []storedChange{
 		{"accounts", 1, account.Change{Ops: []account.Op{
-			{Do: "found", Path: "acme", Node: acme},
-			{Do: "found", Path: "brew", Node: &account.Node{}},
-			{Do: "grant", Path: "acme", Grant: &account.Grant{
-				Key: name2, Public: key2, Depth: 2, Acts: []string{"routes", "limits", "teams", "grants", "contracts"}}},
+			{Kind: "found", Path: "acme", Node: acme},
+			{Kind: "found", Path: "brew", Node: &account.Node{}},
+			{Kind: "grant", Path: "acme", Grant: &account.Grant{
+				Key: name2, PublicKey: key2, DelegationDepth: 2, Permissions: []string{"routes", "limits", "teams", "grants", "contracts"}}},
 		}}},
-		{"accounts", 2, account.Change{Base: 1, Ops: []account.Op{
-			{Do: "team", Path: "acme/web", Node: web},
-			{Do: "team", Path: "acme/old", Node: &account.Node{}},
-			{Do: "route", Path: "acme", Route: eu},
-			{Do: "route", Path: "acme/web", Route: half},
-			{Do: "route", Path: "acme", Route: gone},
-			{Do: "grant", Path: "acme/web", Grant: &account.Grant{Key: name3, Public: key3, Depth: 1, Acts: []string{"routes"}}},
-			{Do: "grant", Path: "acme/web", Grant: &account.Grant{Key: name4, Public: key4, Acts: []string{"limits"}}},
+		{"accounts", 2, account.Change{BaseVersion: 1, Ops: []account.Op{
+			{Kind: "team", Path: "acme/web", Node: web},
+			{Kind: "team", Path: "acme/old", Node: &account.Node{}},
+			{Kind: "route", Path: "acme", Route: eu},
+			{Kind: "route", Path: "acme/web", Route: half},
+			{Kind: "route", Path: "acme", Route: gone},
+			{Kind: "grant", Path: "acme/web", Grant: &account.Grant{Key: name3, PublicKey: key3, DelegationDepth: 1, Permissions: []string{"routes"}}},
+			{Kind: "grant", Path: "acme/web", Grant: &account.Grant{Key: name4, PublicKey: key4, Permissions: []string{"limits"}}},
 		}}},
-		{"accounts", 2, account.Change{Base: 2, Whole: true, Ops: []account.Op{
-			{Do: "limits", Path: "acme/web", Was: 2, Node: lessWeb, Shrink: "proportion"},
-			{Do: "drop", Path: "acme/old"},
-			{Do: "no-route", Path: "acme", Name: "gone"},
-			{Do: "revoke", Path: "acme/web", Name: name4},
+		{"accounts", 2, account.Change{BaseVersion: 2, RequireUnchanged: true, Ops: []account.Op{
+			{Kind: "limits", Path: "acme/web", ExpectedVersion: 2, Node: lessWeb, ShrinkPolicy: "proportion"},
+			{Kind: "drop", Path: "acme/old"},
+			{Kind: "no-route", Path: "acme", Name: "gone"},
+			{Kind: "revoke", Path: "acme/web", Name: name4},
 		}}},
-		{"accounts", 1, account.Change{Base: 3, Ops: []account.Op{
-			{Do: "limits", Path: "acme", Was: 1, Node: acme, Shrink: "priority"},
-			{Do: "drop", Path: "brew"},
+		{"accounts", 1, account.Change{BaseVersion: 3, Ops: []account.Op{
+			{Kind: "limits", Path: "acme", ExpectedVersion: 1, Node: acme, ShrinkPolicy: "priority"},
+			{Kind: "drop", Path: "brew"},
 		}}},
 		{"settings", 0, struct{}{}}, // not taken, and counts in the chain
 		{"zones", 0, zonestatus.Change{Zones: zones, Shed: 0.12, Set: []zonestatus.PairStatus{
--- a/internal/operatorconfig/accounts.go
+++ b/internal/operatorconfig/accounts.go
@@ -15,8 +15,8 @@
 }
 
 // Deal is what package account takes.
-func (l *Fleet) AllocationConfig() account.DealConfig {
-	return account.DealConfig{Epoch: l.Epoch.Duration, Hold: l.Hold.Duration, Full: l.Accounts.Members}
+func (l *Fleet) AllocationConfig() account.LeaseConfig {
+	return account.LeaseConfig{Epoch: l.Epoch.Duration, HolderTimeout: l.Hold.Duration, FleetSize: l.Accounts.Members}
 }
 
 func (a *Accounts) check(c *checks, l *Fleet) {
--- a/internal/route/ledger.go
+++ b/internal/route/ledger.go
@@ -30,9 +30,9 @@
 // they are made, and come on top. How many may stand is what was last dealt
 // until that is older than the hold, then the even part: what stands is never called back.
 type Ledger struct {
-	cfg    account.DealConfig
+	cfg    account.LeaseConfig
 	half   int64
-	rights account.Rights
+	rights account.QuotaLease
 	dealt  time.Duration // when; counts once rights are there
 	has    bool
 	counts map[string]*count
@@ -57,8 +57,8 @@
 const mostSaid = 4096
 
 // NewLedger returns a Ledger of what all members are given alike.
-func NewLedger(cfg account.DealConfig) (*Ledger, error) {
-	if key := cfg.Check(); key != "" {
+func NewLedger(cfg account.LeaseConfig) (*Ledger, error) {
+	if key := cfg.InvalidField(); key != "" {
 		return nil, fmt.Errorf("ledger: %s can't be worked with", key)
 	}
 	return &Ledger{cfg: cfg, counts: map[string]*count{}, over: map[string]float64{}, said: map[Refusal]uint64{}}, nil
@@ -66,9 +66,9 @@
 
 // Deal takes rights as they come. Those of an older half than the last are late, and passed
 // over. Times are Unix time.
-func (l *Ledger) Deal(r account.Rights, now time.Duration) {
+func (l *Ledger) Deal(r account.QuotaLease, now time.Duration) {
 	l.turn(now)
-	if l.has && r.Half < l.rights.Half {
+	if l.has && r.HalfEpoch < l.rights.HalfEpoch {
 		return
 	}
 	l.rights, l.dealt, l.has = r, now, true
@@ -196,15 +196,15 @@
 
 // Use is this node's word for its agent, which adds who and when. Paths that have nothing to
 // tell are left out.
-func (l *Ledger) Use(now time.Duration) account.Use {
+func (l *Ledger) Use(now time.Duration) account.Usage {
 	l.turn(now)
-	u := account.Use{Half: l.half, Used: map[string]account.Figures{}, Prior: map[string]account.Figures{}, Wanted: map[string]account.Figures{}}
+	u := account.Usage{HalfEpoch: l.half, Used: map[string]account.Amounts{}, UsedBefore: map[string]account.Amounts{}, Demand: map[string]account.Amounts{}}
 	for path, c := range l.counts {
 		used := c.used
 		used[open] = float64(c.standing)
 		put(u.Used, path, used)
-		put(u.Prior, path, c.prior)
-		put(u.Wanted, path, c.wanted)
+		put(u.UsedBefore, path, c.prior)
+		put(u.Demand, path, c.wanted)
 	}
 	return u
 }
--- a/internal/route/ledger_test.go
+++ b/internal/route/ledger_test.go
@@ -14,19 +14,19 @@
 
 // ledger returns one with an epoch of a second, in its half 100, and the time.
 func ledger(t interface{ Fatal(...any) }) (*Ledger, time.Duration) {
-	l, err := NewLedger(account.DealConfig{Epoch: time.Second, Hold: 3 * time.Second})
+	l, err := NewLedger(account.LeaseConfig{Epoch: time.Second, HolderTimeout: 3 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
 	return l, 50 * time.Second
 }
 
-func rights(half int64, paths map[string]account.Figures) account.Rights {
-	even := map[string]account.Figures{}
+func rights(half int64, paths map[string]account.Amounts) account.QuotaLease {
+	even := map[string]account.Amounts{}
 	for path := range paths {
-		even[path] = account.Figures{Open: 1, Rate: 4, Retries: 2, Probes: 100}
+		even[path] = account.Amounts{Connections: 1, Setups: 4, Retries: 2, Probes: 100}
 	}
-	return account.Rights{Half: half, Paths: paths, Even: even, Of: 1}
+	return account.QuotaLease{HalfEpoch: half, Allocated: paths, EvenShares: even, HolderCount: 1}
 }
 
 // admit asks for n transactions and tells how many were taken, and which level was full.
@@ -43,23 +43,23 @@
 }
 
 func TestEveryLevelBinds(t *testing.T) {
-	free := account.Figures{Open: -1, Rate: -1, Retries: -1, Probes: -1}
+	free := account.Amounts{Connections: -1, Setups: -1, Retries: -1, Probes: -1}
 	for _, tt := range []struct {
 		name   string
-		paths  map[string]account.Figures
+		paths  map[string]account.Amounts
 		retry  bool
 		taken  int
 		full   string
 		figure string
 	}{
-		{"no bound", map[string]account.Figures{"acme": free, "acme/web": free, "acme/web:r": free}, false, 20, "", ""},
-		{"the account's rate", map[string]account.Figures{"acme": {Open: -1, Rate: 3, Retries: -1, Probes: -1}, "acme/web:r": free}, false, 3, "acme", "rate"},
-		{"the team's standing", map[string]account.Figures{"acme": free, "acme/web": {Open: 4, Rate: 9, Retries: -1, Probes: -1}}, false, 4, "acme/web", "open"},
-		{"the route's retries", map[string]account.Figures{"acme/web:r": {Open: -1, Rate: -1, Retries: 2, Probes: -1}}, true, 2, "acme/web:r", "retries"},
-		{"none of them a retry", map[string]account.Figures{"acme/web:r": {Open: -1, Rate: -1, Retries: 2, Probes: -1}}, false, 20, "", ""},
-		{"no probes", map[string]account.Figures{"acme": {Open: -1, Rate: -1, Retries: -1}}, false, 0, "acme", "probes"},
-		{"nothing is allowed", map[string]account.Figures{"acme": free, "acme/web": {}}, false, 0, "acme/web", "open"},
-		{"the highest is named", map[string]account.Figures{"acme": {Open: -1, Probes: -1}, "acme/web": {}}, false, 0, "acme", "rate"},
+		{"no bound", map[string]account.Amounts{"acme": free, "acme/web": free, "acme/web:r": free}, false, 20, "", ""},
+		{"the account's rate", map[string]account.Amounts{"acme": {Connections: -1, Setups: 3, Retries: -1, Probes: -1}, "acme/web:r": free}, false, 3, "acme", "rate"},
+		{"the team's standing", map[string]account.Amounts{"acme": free, "acme/web": {Connections: 4, Setups: 9, Retries: -1, Probes: -1}}, false, 4, "acme/web", "open"},
+		{"the route's retries", map[string]account.Amounts{"acme/web:r": {Connections: -1, Setups: -1, Retries: 2, Probes: -1}}, true, 2, "acme/web:r", "retries"},
+		{"none of them a retry", map[string]account.Amounts{"acme/web:r": {Connections: -1, Setups: -1, Retries: 2, Probes: -1}}, false, 20, "", ""},
+		{"no probes", map[string]account.Amounts{"acme": {Connections: -1, Setups: -1, Retries: -1}}, false, 0, "acme", "probes"},
+		{"nothing is allowed", map[string]account.Amounts{"acme": free, "acme/web": {}}, false, 0, "acme/web", "open"},
+		{"the highest is named", map[string]account.Amounts{"acme": {Connections: -1, Probes: -1}, "acme/web": {}}, false, 0, "acme", "rate"},
 	} {
 		l, now := ledger(t)
 		l.Deal(rights(100, tt.paths), now)
@@ -87,8 +87,8 @@
 	for range 5 {
 		l.Closed(web)
 	}
-	one := func(open, rate float64) map[string]account.Figures {
-		return map[string]account.Figures{"acme": {Open: open, Rate: rate, Retries: -1, Probes: -1}}
+	one := func(open, rate float64) map[string]account.Amounts {
+		return map[string]account.Amounts{"acme": {Connections: open, Setups: rate, Retries: -1, Probes: -1}}
 	}
 	step := func(what string, ask, want int) {
 		t.Helper()
@@ -104,7 +104,7 @@
 	step("a half without its rights: four a second", 9, 2)
 	l.Deal(rights(101, one(9, 3)), now)
 	step("what was used counts", 9, 1)
-	if u := l.Use(now); u.Half != 101 || u.Used["acme"] != (account.Figures{Open: 5, Rate: 3}) || u.Prior["acme"].Rate != 7 || u.Wanted["acme"].Rate != 7+7+9 {
+	if u := l.Use(now); u.HalfEpoch != 101 || u.Used["acme"] != (account.Amounts{Connections: 5, Setups: 3}) || u.UsedBefore["acme"].Setups != 7 || u.Demand["acme"].Setups != 7+7+9 {
 		t.Errorf("told: %+v", u)
 	}
 	now += 2 * time.Second
@@ -119,7 +119,7 @@
 	l.Closed(web) // once too often takes nothing from anyone
 	l.Spent(now, web, 0, 0, 2)
 	now += time.Second
-	if u := l.Use(now); len(u.Used)+len(u.Prior)+len(u.Wanted) != 0 || len(l.counts) != 0 {
+	if u := l.Use(now); len(u.Used)+len(u.UsedBefore)+len(u.Demand) != 0 || len(l.counts) != 0 {
 		t.Errorf("told when nothing stands: %+v, %d paths kept", u, len(l.counts))
 	}
 }
@@ -137,7 +137,7 @@
 			for place := range n {
 				l, _ := ledger(t)
 				l.half = half
-				l.rights = account.Rights{Place: place, Of: n}
+				l.rights = account.QuotaLease{HolderRank: place, HolderCount: n}
 				rate += l.even("acme", 1, limit/float64(n))
 				standing += l.even("acme", 0, limit/float64(n))
 			}
--- a/internal/route/resolve_test.go
+++ b/internal/route/resolve_test.go
@@ -9,9 +9,9 @@
 
 // Each pair of what bounds a route: what comes first is never widened by what comes later.
 func TestPrecedence(t *testing.T) {
-	parts := func(list ...any) (p []account.Part) {
+	parts := func(list ...any) (p []account.ZoneShare) {
 		for i := 0; i < len(list); i += 2 {
-			p = append(p, account.Part{Zone: list[i].(string), Percent: float64(list[i+1].(int))})
+			p = append(p, account.ZoneShare{Zone: list[i].(string), Percent: float64(list[i+1].(int))})
 		}
 		return p
 	}
@@ -19,7 +19,7 @@
 	for _, tt := range []struct {
 		name    string
 		zones   []string
-		parts   []account.Part
+		parts   []account.ZoneShare
 		steered *Allocation
 		ready   map[string]int
 		want    string // zones and shares
--- a/internal/route/rights.go
+++ b/internal/route/rights.go
@@ -12,13 +12,13 @@
 	switch {
 	case !l.has:
 		return -1
-	case figure == open && now-l.dealt < l.cfg.Hold, figure != open && l.rights.Half == l.half:
-		if f, ok := l.rights.Paths[path]; ok {
+	case figure == open && now-l.dealt < l.cfg.HolderTimeout, figure != open && l.rights.HalfEpoch == l.half:
+		if f, ok := l.rights.Allocated[path]; ok {
 			return array(f)[figure]
 		}
 		return -1 // not dealt yet: the levels above bind
 	}
-	f, ok := l.rights.Even[path]
+	f, ok := l.rights.EvenShares[path]
 	if !ok {
 		return -1
 	}
@@ -31,8 +31,8 @@
 	if x < 0 {
 		return -1
 	}
-	n := int64(max(l.rights.Of, 1))
-	place := int64((uint64(l.rights.Place) + Hash(path)%uint64(n)) % uint64(n))
+	n := int64(max(l.rights.HolderCount, 1))
+	place := int64((uint64(l.rights.HolderRank) + Hash(path)%uint64(n)) % uint64(n))
 	if figure == open {
 		all := int64(math.Floor(x*float64(n) + 1e-6))
 		part := all / n
@@ -48,13 +48,13 @@
 	return float64(each/million + (rest*(h+1)+phase)/million - (rest*h+phase)/million)
 }
 
-func array(f account.Figures) [figures]float64 {
-	return [figures]float64{f.Open, f.Rate, f.Retries, f.Probes}
+func array(f account.Amounts) [figures]float64 {
+	return [figures]float64{f.Connections, f.Setups, f.Retries, f.Probes}
 }
 
 // put names a path where it has something to tell.
-func put(m map[string]account.Figures, path string, a [figures]float64) {
+func put(m map[string]account.Amounts, path string, a [figures]float64) {
 	if a != ([figures]float64{}) {
-		m[path] = account.Figures{Open: a[open], Rate: a[rate], Retries: a[retries], Probes: a[probes]}
+		m[path] = account.Amounts{Connections: a[open], Setups: a[rate], Retries: a[retries], Probes: a[probes]}
 	}
 }
--- a/internal/route/snapshot/told.go
+++ b/internal/route/snapshot/told.go
@@ -25,7 +25,7 @@
 	}
 	for _, path := range slices.Sorted(maps.Keys(a.Routes)) {
 		r := a.Routes[path]
-		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, Parts: parts(r.Parts, regions, ready),
+		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, Parts: parts(r.ZoneShares, regions, ready),
 			Zones: zonesOf(a, r.Owner, regions), Contract: contract(r, p, held)})
 	}
 	for _, s := range p.Steered {
@@ -57,7 +57,7 @@
 	}
 }
 
-func parts(list []account.Part, regions map[string][]string, ready map[string]int) []account.Part {
+func parts(list []account.ZoneShare, regions map[string][]string, ready map[string]int) []account.ZoneShare {
 	if len(list) == 0 {
 		return nil
 	}
@@ -65,9 +65,9 @@
 	for _, p := range list {
 		spread(p.Zone, p.Percent, regions, ready, func(zone string, part float64) { sums[zone] += part })
 	}
-	var zones []account.Part
+	var zones []account.ZoneShare
 	for _, zone := range slices.Sorted(maps.Keys(sums)) {
-		zones = append(zones, account.Part{Zone: zone, Percent: sums[zone]})
+		zones = append(zones, account.ZoneShare{Zone: zone, Percent: sums[zone]})
 	}
 	return zones
 }
--- a/internal/route/snapshot/told_test.go
+++ b/internal/route/snapshot/told_test.go
@@ -16,20 +16,20 @@
 	for _, tt := range []struct {
 		name  string
 		scope []string
-		parts []account.Part
+		parts []account.ZoneShare
 		at    slo.Contract
 		share map[string]float64
 		want  string
 	}{
 		{"no bound", nil, nil, slo.Contract{}, nil, "<nil>"},
 		{"the account's region", []string{"north"}, nil, slo.Contract{}, nil, "[{a 1} {b 1}]"},
-		{"parts of regions, by transactions", nil, []account.Part{{Zone: "north", Percent: 80}, {Zone: "south", Percent: 20}}, slo.Contract{}, nil, "[{a 1} {b 1} {c 1}]"},
+		{"parts of regions, by transactions", nil, []account.ZoneShare{{Zone: "north", Percent: 80}, {Zone: "south", Percent: 20}}, slo.Contract{}, nil, "[{a 1} {b 1} {c 1}]"},
 		{"the account's contract", nil, nil, slo.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{b 1} {c 1}]"},
 		{"the route's own", nil, nil, slo.Contract{Name: "gold", Holder: "acme/web:r"}, map[string]float64{"a": 0.75, "c": 0.25}, "[{a 1} {c 1}]"},
 		{"another's contract", nil, nil, slo.Contract{Name: "gold", Holder: "acme/shop"}, map[string]float64{"a": 1}, "<nil>"},
 		{"within the account's region", []string{"south"}, nil, slo.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{c 1}]"},
 	} {
-		r := &account.Route{Name: "r", Owner: "acme/web", Parts: tt.parts}
+		r := &account.Route{Name: "r", Owner: "acme/web", ZoneShares: tt.parts}
 		a := account.State{Nodes: map[string]*account.Node{"acme": {Scope: account.Scope{Zones: tt.scope}}, "acme/web": {}},
 			Routes: map[string]*account.Route{r.Path(): r}}
 		p := slo.State{}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -133,8 +133,8 @@
 		}
 		next.routes[path] = r
 		c, s := next.cell(&e), span{route: r}
-		s.from, s.to = edge(e.Match.From), edge(e.Match.To)
-		if c.rank&byRange == 0 || e.Match.To == 1 {
+		s.from, s.to = edge(e.Match.HashFrom), edge(e.Match.HashTo)
+		if c.rank&byRange == 0 || e.Match.HashTo == 1 {
 			s.to = ^uint64(0) // with the last place of all
 		}
 		claims[c] = append(claims[c], s)
@@ -157,9 +157,9 @@
 func (t *Table) cell(e *Entry) *cell {
 	m := &e.Match
 	q := Query{Class: m.Class, Tenant: m.Tenant, Group: m.Group}
-	q.Returned = m.Returned != nil && *m.Returned
+	q.Returned = m.Returning != nil && *m.Returning
 	q.Retry = m.Retry != nil && *m.Retry
-	rank := m.Rank()
+	rank := m.Specificity()
 	h := t.hash(&q).of(rank, &q)
 	for c := t.cells[h]; c != nil; c = c.next {
 		if c.rank == rank && c.names(&q) {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -17,10 +17,10 @@
 	for i, n := 0, rapid.IntRange(0, 30).Draw(t, label); i < n; i++ {
 		e := Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
 		e.Match = account.Match{Class: word.Draw(t, "class"), Tenant: word.Draw(t, "tenant"), Group: word.Draw(t, "group"),
-			Returned: mark.Draw(t, "returned"), Retry: mark.Draw(t, "retry")}
+			Returning: mark.Draw(t, "returned"), Retry: mark.Draw(t, "retry")}
 		if e.Match.Group == "" && rapid.Bool().Draw(t, "ranged") {
 			from := rapid.IntRange(0, 7).Draw(t, "from")
-			e.Match.From, e.Match.To = float64(from)/8, float64(rapid.IntRange(from+1, 8).Draw(t, "to"))/8
+			e.Match.HashFrom, e.Match.HashTo = float64(from)/8, float64(rapid.IntRange(from+1, 8).Draw(t, "to"))/8
 		}
 		w.Set = append(w.Set, e)
 	}
@@ -36,8 +36,8 @@
 func takes(m account.Match, q Query) bool {
 	place := float64(q.GroupHash) / (1 << 64)
 	return (m.Class == "" || m.Class == q.Class) && (m.Tenant == "" || m.Tenant == q.Tenant) && (m.Group == "" || m.Group == q.Group) &&
-		(m.Returned == nil || *m.Returned == q.Returned) && (m.Retry == nil || *m.Retry == q.Retry) &&
-		(m.To == 0 || q.Group != "" && m.From <= place && (place < m.To || m.To == 1))
+		(m.Returning == nil || *m.Returning == q.Returned) && (m.Retry == nil || *m.Retry == q.Retry) &&
+		(m.HashTo == 0 || q.Group != "" && m.HashFrom <= place && (place < m.HashTo || m.HashTo == 1))
 }
 
 // A table finds what reading all routes one by one finds, whether it came whole or by
@@ -64,7 +64,7 @@
 				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returned: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
 			var want *Entry
 			for i := range after.Set {
-				if e := &after.Set[i]; takes(e.Match, q) && (want == nil || e.Match.Rank() > want.Match.Rank()) {
+				if e := &after.Set[i]; takes(e.Match, q) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
 					want = e
 				}
 			}
@@ -91,7 +91,7 @@
 		"changes from 2":     {Index: 4, Since: 2},
 		"changes from 3 to":  {Index: 2, Since: 3},
 		"no name":            {Index: 4, Since: 3, Set: []Entry{{Owner: "acme"}}},
-		`"acme:r": range 1 `: {Whole: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{From: 1, To: 0.5}}}},
+		`"acme:r": range 1 `: {Whole: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
 	} {
 		_, err := good.With(w)
 		if want == "nothing to change" {
@@ -141,7 +141,7 @@
 				e.Match.Group = q.Group
 			case 1:
 				e.Match.Class = "feed"
-				e.Match.From, e.Match.To = 0, 1
+				e.Match.HashFrom, e.Match.HashTo = 0, 1
 			case 2:
 				e.Match.Group = q.Group
 			case 3:
--- a/internal/route/wire.go
+++ b/internal/route/wire.go
@@ -26,12 +26,12 @@
 
 // Entry is a route as the node needs it.
 type Entry struct {
-	Name     string         `json:"name"`  // within its owner
-	Owner    string         `json:"owner"` // path, such as acme/web
-	Match    account.Match  `json:"match"`
-	Parts    []account.Part `json:"parts,omitempty"` // in percent of the route's transactions
-	Zones    []string       `json:"zones,omitempty"` // that the owner may use; empty for all
-	Contract string         `json:"contract,omitempty"`
+	Name     string              `json:"name"`  // within its owner
+	Owner    string              `json:"owner"` // path, such as acme/web
+	Match    account.Match       `json:"match"`
+	Parts    []account.ZoneShare `json:"parts,omitempty"` // in percent of the route's transactions
+	Zones    []string            `json:"zones,omitempty"` // that the owner may use; empty for all
+	Contract string              `json:"contract,omitempty"`
 }
 
 // Path is how limits and counts name the route.
@@ -53,8 +53,8 @@
 	switch {
 	case e.Name == "" || e.Owner == "":
 		return fmt.Errorf("route %.80q: no name or no owner", e.Path())
-	case (m.From != 0 || m.To != 0) && !(m.From >= 0 && m.From < m.To && m.To <= 1):
-		return fmt.Errorf("route %.80q: range %v to %v: want 0 <= from < to <= 1", e.Path(), m.From, m.To)
+	case (m.HashFrom != 0 || m.HashTo != 0) && !(m.HashFrom >= 0 && m.HashFrom < m.HashTo && m.HashTo <= 1):
+		return fmt.Errorf("route %.80q: range %v to %v: want 0 <= from < to <= 1", e.Path(), m.HashFrom, m.HashTo)
 	}
 	return nil
 }
--- a/internal/scenario/accounts/faults.go
+++ b/internal/scenario/accounts/faults.go
@@ -141,7 +141,7 @@
 		base, _ := s.watch.tree(name)
 		w := &writer{team: t, rng: rng}
 		s.writers.Go(func() {
-			s.propose(t.key, name, account.Change{Base: base.Version, Ops: []account.Op{w.put(t.path, fmt.Sprintf("lone%d", i))}}, "cut-off", "")
+			s.propose(t.key, name, account.Change{BaseVersion: base.Version, Ops: []account.Op{w.put(t.path, fmt.Sprintf("lone%d", i))}}, "cut-off", "")
 		})
 	}
 	fake.Sleep(ctx, 2*time.Second)
--- a/internal/scenario/accounts/judge.go
+++ b/internal/scenario/accounts/judge.go
@@ -93,7 +93,7 @@
 		}
 		for _, one := range list {
 			t := one.state.Accounts
-			if err := t.Check(); err != nil {
+			if err := t.Validate(); err != nil {
 				s.AddViolation("tree", fmt.Sprintf("%s at index %d: %v", one.agent, index, err))
 			}
 			for _, r := range t.Routes {
--- a/internal/scenario/accounts/moves.go
+++ b/internal/scenario/accounts/moves.go
@@ -9,13 +9,13 @@
 // set replaces a team's limits.
 func set(t *team, rate float64, shrink string) account.Op {
 	n := t.node()
-	n.Limits.Rate = rate
-	return account.Op{Do: account.Set, Path: t.path, Node: n, Shrink: shrink}
+	n.Limits.SetupRate = rate
+	return account.Op{Kind: account.SetLimits, Path: t.path, Node: n, ShrinkPolicy: shrink}
 }
 
 // draw is a rate about what a team has at first: some are more than its parent can give.
 func (w *writer) draw(t *team) float64 {
-	return t.node().Limits.Rate * (0.4 + 1.4*w.rng.Float64())
+	return t.node().Limits.SetupRate * (0.4 + 1.4*w.rng.Float64())
 }
 
 func (w *writer) child() *team { return w.below[w.rng.IntN(len(w.below))] }
@@ -24,19 +24,19 @@
 // or they shrink.
 func (w *writer) limits(_ context.Context) {
 	t := w.child()
-	shrink := [3]string{"", account.Proportion, account.Priority}[w.rng.IntN(3)]
+	shrink := [3]string{"", account.ShrinkProportionally, account.ShrinkByPriority}[w.rng.IntN(3)]
 	w.propose(w.key, w.seen(), "limits", "", set(t, w.draw(t), shrink))
 }
 
 // cutAndGrow has who is above cut this team, and this team grow one of its own, at once.
 func (w *writer) cutAndGrow(_ context.Context) {
 	base, t := w.seen(), w.child()
-	cut := account.Change{Base: base.Version, Ops: []account.Op{set(w.team, w.node().Limits.Rate*0.6, "")}}
-	grow := account.Change{Base: base.Version, Ops: []account.Op{set(t, t.node().Limits.Rate*1.4, "")}}
+	cut := account.Change{BaseVersion: base.Version, Ops: []account.Op{set(w.team, w.node().Limits.SetupRate*0.6, "")}}
+	grow := account.Change{BaseVersion: base.Version, Ops: []account.Op{set(t, t.node().Limits.SetupRate*1.4, "")}}
 	pair := w.both(func(to string) *op { return w.scene.propose(w.above.key, to, cut, "cut", "") },
 		func(to string) *op { return w.scene.propose(w.key, to, grow, "grow", "") })
 	if pair[0].taken() { // so that there is room again
-		w.propose(w.above.key, w.seen(), "regrow", "", set(w.team, w.node().Limits.Rate, ""))
+		w.propose(w.above.key, w.seen(), "regrow", "", set(w.team, w.node().Limits.SetupRate, ""))
 	}
 }
 
@@ -45,7 +45,7 @@
 	from := w.rng.IntN(len(w.below))
 	one, other := w.below[from], w.below[(from+1)%len(w.below)]
 	part := w.rng.Float64()
-	w.propose(w.key, w.seen(), "swap", "", set(one, one.node().Limits.Rate*(1-part/2), account.Proportion), set(other, other.node().Limits.Rate*(1+part/2), ""))
+	w.propose(w.key, w.seen(), "swap", "", set(one, one.node().Limits.SetupRate*(1-part/2), account.ShrinkProportionally), set(other, other.node().Limits.SetupRate*(1+part/2), ""))
 }
 
 // over asks for a team more than its parent has.
@@ -61,14 +61,14 @@
 	if err != nil || err2 != nil {
 		return
 	}
-	base, ok := w.after(ctx, w.propose(w.key, w.seen(), "grant", "", give(first, w.path, 1, account.ActRoutes, account.ActGrants)))
+	base, ok := w.after(ctx, w.propose(w.key, w.seen(), "grant", "", give(first, w.path, 1, account.PermissionRoutes, account.PermissionGrants)))
 	if !ok {
 		return
 	}
-	base, ok = w.after(ctx, w.propose(first, base, "grant-on", "", give(second, w.path, 0, account.ActRoutes)))
-	revoke := account.Change{Base: base.Version, Ops: []account.Op{{Do: account.Revoke, Path: w.path, Name: first.name()}}}
+	base, ok = w.after(ctx, w.propose(first, base, "grant-on", "", give(second, w.path, 0, account.PermissionRoutes)))
+	revoke := account.Change{BaseVersion: base.Version, Ops: []account.Op{{Kind: account.RevokeGrant, Path: w.path, Name: first.name()}}}
 	use := func() account.Change {
-		return account.Change{Base: base.Version, Ops: []account.Op{w.put(w.path, "line")}}
+		return account.Change{BaseVersion: base.Version, Ops: []account.Op{w.put(w.path, "line")}}
 	}
 	used := use()
 	var pair [2]*op
@@ -85,7 +85,7 @@
 	w.scene.log.lines = append(w.scene.log.lines, line{[]string{first.name(), second.name()}, pair[0].out.Index})
 	w.scene.log.mu.Unlock()
 	w.scene.propose(second, w.agent(), use(), "use-revoked", "")
-	w.scene.propose(first, w.agent(), account.Change{Base: base.Version, Ops: []account.Op{give(second, w.path, 0, account.ActRoutes)}}, "grant-revoked", "")
+	w.scene.propose(first, w.agent(), account.Change{BaseVersion: base.Version, Ops: []account.Op{give(second, w.path, 0, account.PermissionRoutes)}}, "grant-revoked", "")
 }
 
 // after is the tree as soon as some agent has what was taken; not ok where it was not.
--- a/internal/scenario/accounts/tree.go
+++ b/internal/scenario/accounts/tree.go
@@ -78,31 +78,31 @@
 // node is what a team has at first: its children together hold a little less than it has.
 func (t *team) node() *account.Node {
 	l := [3]account.Limits{
-		{Open: 3000, Rate: 300, Retries: 60, Probes: 60, Routes: 200, Teams: 60},
-		{Open: 1000, Rate: 100, Retries: 20, Probes: 20, Routes: 60, Teams: 10},
-		{Open: 300, Rate: 30, Retries: 6, Probes: 6, Routes: 20, Teams: 2},
+		{Connections: 3000, SetupRate: 300, RetryRate: 60, ProbeRate: 60, Routes: 200, Teams: 60},
+		{Connections: 1000, SetupRate: 100, RetryRate: 20, ProbeRate: 20, Routes: 60, Teams: 10},
+		{Connections: 300, SetupRate: 30, RetryRate: 6, ProbeRate: 6, Routes: 20, Teams: 2},
 	}[t.level()]
 	return &account.Node{Limits: l, Priority: len(t.path) % 3}
 }
 
 // grant is what is given to a team's key, by the key above: each level can hand on less deep.
 func (t *team) grant() account.Op {
-	return give(t.key, t.path, 4-t.level(), account.ActRoutes, account.ActLimits, account.ActTeams, account.ActGrants)
+	return give(t.key, t.path, 4-t.level(), account.PermissionRoutes, account.PermissionLimits, account.PermissionTeams, account.PermissionGrants)
 }
 
 func give(k key, path string, depth int, acts ...string) account.Op {
-	return account.Op{Do: account.Give, Path: path, Grant: &account.Grant{Key: k.name(), Public: k.public(), Path: path, Acts: acts, Depth: depth}}
+	return account.Op{Kind: account.CreateGrant, Path: path, Grant: &account.Grant{Key: k.name(), PublicKey: k.public(), Path: path, Permissions: acts, DelegationDepth: depth}}
 }
 
 // found brings the tree into the record, each level by the key above it.
 func (s *scene) found(ctx context.Context) error {
 	for _, a := range s.tree.admins {
-		if err := s.must(ctx, s.tree.root, account.Op{Do: account.Found, Path: a.path, Node: a.node()}, a.grant()); err != nil {
+		if err := s.must(ctx, s.tree.root, account.Op{Kind: account.CreateAccount, Path: a.path, Node: a.node()}, a.grant()); err != nil {
 			return err
 		}
 	}
 	for _, t := range s.tree.teams {
-		if err := s.must(ctx, t.above.key, account.Op{Do: account.Team, Path: t.path, Node: t.node()}, t.grant()); err != nil {
+		if err := s.must(ctx, t.above.key, account.Op{Kind: account.CreateTeam, Path: t.path, Node: t.node()}, t.grant()); err != nil {
 			return err
 		}
 	}
@@ -115,7 +115,7 @@
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; {
 		to := s.Names[len(ops)%len(s.Names)]
 		base, _ := s.watch.tree(to)
-		if o = s.propose(k, to, account.Change{Base: base.Version, Ops: ops}, "found", ""); o.taken() {
+		if o = s.propose(k, to, account.Change{BaseVersion: base.Version, Ops: ops}, "found", ""); o.taken() {
 			s.watch.await(ctx, to, o.out.Index)
 			return nil
 		}
--- a/internal/scenario/accounts/writer.go
+++ b/internal/scenario/accounts/writer.go
@@ -81,7 +81,7 @@
 
 // propose makes a change on what was seen, by a key, and keeps it where it was taken.
 func (w *writer) propose(k key, base account.State, what, never string, ops ...account.Op) *op {
-	o := w.scene.propose(k, w.agent(), account.Change{Base: base.Version, Ops: ops}, what, never)
+	o := w.scene.propose(k, w.agent(), account.Change{BaseVersion: base.Version, Ops: ops}, what, never)
 	if o.taken() && never == "" {
 		w.taken = append(w.taken[max(0, len(w.taken)-7):], o.entry)
 	}
@@ -102,8 +102,8 @@
 // put is a route of a team's: its tenant is the owner, so that no two teams' tie.
 func (w *writer) put(path, name string) account.Op {
 	rate := float64(1 + w.rng.IntN(3))
-	return account.Op{Do: account.PutRoute, Path: path, Route: &account.Route{Name: name, Match: account.Match{Tenant: path, Group: name},
-		Limits: account.Limits{Open: 10 * rate, Rate: rate, Retries: rate / 5, Probes: -1}}}
+	return account.Op{Kind: account.PutRoute, Path: path, Route: &account.Route{Name: name, Match: account.Match{Tenant: path, Group: name},
+		Limits: account.Limits{Connections: 10 * rate, SetupRate: rate, RetryRate: rate / 5, ProbeRate: -1}}}
 }
 
 func (w *writer) name() string { return fmt.Sprintf("r%d", w.rng.IntN(5)) }
@@ -113,14 +113,14 @@
 }
 
 func (w *writer) noRoute(_ context.Context) {
-	w.propose(w.key, w.seen(), "no-route", "", account.Op{Do: account.NoRoute, Path: w.path, Name: w.name()})
+	w.propose(w.key, w.seen(), "no-route", "", account.Op{Kind: account.DeleteRoute, Path: w.path, Name: w.name()})
 }
 
 // same has the team and who is above it change one route on the same base: one at most is
 // taken.
 func (w *writer) same(_ context.Context) {
 	base, name := w.seen(), w.name()
-	ours, theirs := account.Change{Base: base.Version, Ops: []account.Op{w.put(w.path, name)}}, account.Change{Base: base.Version, Ops: []account.Op{w.put(w.path, name)}}
+	ours, theirs := account.Change{BaseVersion: base.Version, Ops: []account.Op{w.put(w.path, name)}}, account.Change{BaseVersion: base.Version, Ops: []account.Op{w.put(w.path, name)}}
 	pair := w.both(func(to string) *op { return w.scene.propose(w.key, to, ours, "same", "") },
 		func(to string) *op { return w.scene.propose(w.above.key, to, theirs, "same", "") })
 	w.scene.log.mu.Lock()
@@ -135,7 +135,7 @@
 	if other == w.team || other.above == w.team || w.rng.IntN(4) == 0 {
 		n := w.node()
 		n.Priority = 9
-		w.propose(w.key, base, "own-limits", ruleSubtree, account.Op{Do: account.Set, Path: w.path, Node: n})
+		w.propose(w.key, base, "own-limits", ruleSubtree, account.Op{Kind: account.SetLimits, Path: w.path, Node: n})
 		return
 	}
 	w.propose(w.key, base, "outside", ruleSubtree, w.put(other.path, w.name()))
@@ -143,7 +143,7 @@
 
 // half is a change of which the second part fails.
 func (w *writer) half(_ context.Context) {
-	w.propose(w.key, w.seen(), "half", ruleHalf, w.put(w.path, neverThere), account.Op{Do: account.Drop, Path: w.path + "/none"})
+	w.propose(w.key, w.seen(), "half", ruleHalf, w.put(w.path, neverThere), account.Op{Kind: account.DeleteNode, Path: w.path + "/none"})
 }
 
 // again brings an entry that was taken a second time, as anybody can who has kept it.
--- a/internal/scenario/promises_contracts.go
+++ b/internal/scenario/promises_contracts.go
@@ -34,11 +34,11 @@
 
 // agree founds an account with a route for each tenant, and sets the contracts.
 func (s *promisesScene) agree() error {
-	none := account.Limits{Open: -1, Rate: -1, Retries: -1, Probes: -1, Routes: -1, Teams: -1}
-	accounts := account.Change{Ops: []account.Op{{Do: account.Found, Path: "acme", Node: &account.Node{Limits: none}}}}
+	none := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1, Routes: -1, Teams: -1}
+	accounts := account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "acme", Node: &account.Node{Limits: none}}}}
 	var contracts slo.Change
 	for _, t := range s.tenants() {
-		accounts.Ops = append(accounts.Ops, account.Op{Do: account.PutRoute, Path: "acme", Route: &account.Route{Name: t.Name,
+		accounts.Ops = append(accounts.Ops, account.Op{Kind: account.PutRoute, Path: "acme", Route: &account.Route{Name: t.Name,
 			Match: account.Match{Tenant: t.Name}, Limits: none, Contract: t.Name}})
 		contracts.Set = append(contracts.Set, t.Contract)
 	}
