--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -138,7 +138,7 @@
 	fmt.Printf("ledger %v, layout %d, %d bytes\n", s.ID, s.Layout(), s.Size())
 	total := 0
 	err = s.View(func(tx *store.Tx) error {
-		return replayguard.EachWindow(tx, func(w resumetoken.Window, spent int) {
+		return replayguard.ForEachWindow(tx, func(w resumetoken.Window, spent int) {
 			total += spent
 			fmt.Printf("  expire by %s: %d spent\n", w.End().Format(time.RFC3339), spent)
 		})
--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -34,14 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := replayguard.Open(replayguard.Options{Dir: o.ReplayGuard.Dir, Records: o.ReplayGuard.Records, Skew: o.ClockSkew.Duration})
+	l, err := replayguard.Open(replayguard.Options{Dir: o.ReplayGuard.Dir, MaxRecords: o.ReplayGuard.Records, ClockSkew: o.ClockSkew.Duration})
 	switch {
 	case errors.Is(err, store.ErrHeld): // two nodes with one folder would never do
 		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
 	case err != nil:
 		// A disk that is full or read-only must not keep the node from serving.
 		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
-		l = replayguard.Broke()
+		l = replayguard.NewUnavailable()
 	}
 	s := replayguard.NewService(name, l, terms, o.ReplayGuard.Peers)
 	if o.ReplayGuard.Listen != "" {
@@ -49,21 +49,21 @@
 		if err != nil {
 			return nil, fmt.Errorf("resume.ledger.listen: %w", err)
 		}
-		answers := &replayguard.Server{Name: name, Ledger: l, Ring: s.Ring}
+		answers := &replayguard.Server{Name: name, Guard: l, KeyRing: s.KeyRing}
 		parts.Go(func() { _ = answers.Serve(ctx, listener) })
 	}
 	parts.Go(func() { l.Run(ctx) })
 	parts.Go(func() { s.Run(ctx) })
-	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.Kept(), "survives", l.Stays, "peers", len(o.ReplayGuard.Peers))
+	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.RecordCount(), "survives", l.IsDurable, "peers", len(o.ReplayGuard.Peers))
 	return &tokenResumption{service: s, sessions: resumption.Factory{Tokens: s}}, nil
 }
 
-func terms(o operatorconfig.Resume) (replayguard.Terms, error) {
+func terms(o operatorconfig.Resume) (replayguard.ServiceConfig, error) {
 	ring, err := keyfile.Load(o.Keys)
 	if err != nil {
-		return replayguard.Terms{}, fmt.Errorf("resume.keys: %w", err)
+		return replayguard.ServiceConfig{}, fmt.Errorf("resume.keys: %w", err)
 	}
-	return replayguard.Terms{Ring: ring, Life: o.TokenTTL.Duration, Skew: o.ClockSkew.Duration, Wait: o.ArbiterTimeout.Duration}, nil
+	return replayguard.ServiceConfig{KeyRing: ring, TokenLifetime: o.TokenTTL.Duration, ClockSkew: o.ClockSkew.Duration, ArbiterTimeout: o.ArbiterTimeout.Duration}, nil
 }
 
 // change takes other keys and times.
@@ -73,7 +73,7 @@
 	}
 	t, err := terms(o)
 	if err == nil {
-		r.service.Change(t)
+		r.service.UpdateConfig(t)
 	}
 	return err
 }
@@ -81,6 +81,6 @@
 // leave tells that the node is about to end.
 func (r *tokenResumption) leave() {
 	if r != nil {
-		r.service.Leave()
+		r.service.BeginDraining()
 	}
 }
--- a/internal/replayguard/crash_test.go
+++ b/internal/replayguard/crash_test.go
@@ -27,7 +27,7 @@
 func killedBeforeAnswer(dir string) {
 	t := &testing.T{}
 	r := ring(t, "a")
-	l, err := Open(Options{Dir: dir, Records: 10})
+	l, err := Open(Options{Dir: dir, MaxRecords: 10})
 	if err != nil {
 		panic(err)
 	}
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	l, _ := start(t, Options{Dir: dir})
-	if v := judge(l, &tok, 2); v != resumetoken.Spent || l.Kept() != 1 {
-		t.Errorf("presented again: %v, %d kept", v, l.Kept())
+	if v := judge(l, &tok, 2); v != resumetoken.Spent || l.RecordCount() != 1 {
+		t.Errorf("presented again: %v, %d kept", v, l.RecordCount())
 	}
 }
--- a/internal/replayguard/ledger.go
+++ b/internal/replayguard/ledger.go
@@ -51,12 +51,12 @@
 
 // Options bound a ledger.
 type Options struct {
-	Dir     string           // where its file is; empty for one in memory, which a restart empties
-	Records int              // tokens remembered at most
-	Skew    time.Duration    // by which an issuer's clock may be ahead
-	Group   int              // presentations made durable at once at most; 0 for the default
-	NoSync  bool             // spare the disk's sync: safe over a crash of the node, not of the machine
-	Now     func() time.Time // nil for time.Now
+	Dir        string           // where its file is; empty for one in memory, which a restart empties
+	MaxRecords int              // tokens remembered at most
+	ClockSkew  time.Duration    // by which an issuer's clock may be ahead
+	MaxBatch   int              // presentations made durable at once at most; 0 for the default
+	NoSync     bool             // spare the disk's sync: safe over a crash of the node, not of the machine
+	Now        func() time.Time // nil for time.Now
 }
 
 // keeper holds the records.
@@ -69,26 +69,26 @@
 }
 
 // Ledger is one node's ledger.
-type Ledger struct {
-	ID     resumetoken.GuardID
-	Stays  bool // its records survive a restart
-	keeper keeper
-	kept   atomic.Int64
-	limit  int64
-	broken atomic.Bool // the last write failed
-	now    func() time.Time
+type Guard struct {
+	ID        resumetoken.GuardID
+	IsDurable bool // its records survive a restart
+	keeper    keeper
+	kept      atomic.Int64
+	limit     int64
+	broken    atomic.Bool // the last write failed
+	now       func() time.Time
 }
 
 // Open opens the ledger that o names. Run has to be called for it to answer.
-func Open(o Options) (*Ledger, error) {
-	if o.Group == 0 {
-		o.Group = group
+func Open(o Options) (*Guard, error) {
+	if o.MaxBatch == 0 {
+		o.MaxBatch = group
 	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	l := &Ledger{limit: int64(o.Records), now: o.Now}
-	a := resumetoken.Arbiter{MaxRecords: o.Records, ClockSkew: o.Skew}
+	l := &Guard{limit: int64(o.MaxRecords), now: o.Now}
+	a := resumetoken.Arbiter{MaxRecords: o.MaxRecords, ClockSkew: o.ClockSkew}
 	if o.Dir == "" {
 		_, _ = rand.Read(a.ID[:])
 		l.ID = a.ID
@@ -99,7 +99,7 @@
 	// is for pages that wait to be used again, and because bbolt counts the mapped
 	// size, which doubles.
 	s, err := store.Open(filepath.Join(o.Dir, FileName), Schema,
-		store.Options{MaxBytes: 64<<20 + 400*o.Records, NoSync: o.NoSync, Wait: dying})
+		store.Options{MaxBytes: 64<<20 + 400*o.MaxRecords, NoSync: o.NoSync, Wait: dying})
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
@@ -108,18 +108,18 @@
 			"aside", s.Aside, "err", s.Why)
 	}
 	a.ID = resumetoken.GuardID(s.ID)
-	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.Group, waiting)}
+	d := &durable{ledger: l, arbiter: a, store: s, writer: store.NewWriter(s, o.MaxBatch, waiting)}
 	if err := d.load(); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), s.Close())
 	}
-	l.ID, l.Stays, l.keeper = a.ID, true, d
+	l.ID, l.IsDurable, l.keeper = a.ID, true, d
 	return l, nil
 }
 
 // Broke returns the ledger of a node whose own could not be opened: it grants
 // nothing, and its node names peers as arbiters.
-func Broke() *Ledger {
-	l := &Ledger{now: time.Now, keeper: nothing{}}
+func NewUnavailable() *Guard {
+	l := &Guard{now: time.Now, keeper: nothing{}}
 	_, _ = rand.Read(l.ID[:])
 	return l
 }
@@ -135,7 +135,7 @@
 func (nothing) close() error            { return nil }
 
 // Run keeps the ledger until ctx ends, and closes it.
-func (l *Ledger) Run(ctx context.Context) {
+func (l *Guard) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { l.keeper.run(ctx) })
 	tick := time.NewTicker(resumetoken.WindowLength / 2)
@@ -155,22 +155,22 @@
 
 // Spend tells what becomes of one presentation. tell is called once, from another
 // goroutine, and must not block.
-func (l *Ledger) Spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
+func (l *Guard) Spend(t *resumetoken.Token, c resumetoken.RedemptionID, tell func(resumetoken.Verdict)) {
 	l.keeper.spend(t, c, tell)
 }
 
 // Kept is how many records the ledger holds.
-func (l *Ledger) Kept() int { return int(l.kept.Load()) }
+func (l *Guard) RecordCount() int { return int(l.kept.Load()) }
 
 // Ready tells whether the ledger has room and could write when it last did.
-func (l *Ledger) Ready() bool { return l.kept.Load() < l.limit && !l.broken.Load() }
+func (l *Guard) IsReady() bool { return l.kept.Load() < l.limit && !l.broken.Load() }
 
 // ---- in a file ----
 
 // durable has its records in a store. The arbiter belongs to the writer's
 // goroutine, in which Apply and Done run.
 type durable struct {
-	ledger  *Ledger
+	ledger  *Guard
 	store   *store.Store
 	writer  *store.Writer
 	arbiter resumetoken.Arbiter
@@ -183,7 +183,7 @@
 		if b := tx.Bucket(rulesBucket).Get(sweptKey); len(b) == 8 {
 			d.arbiter.SweptThrough = resumetoken.Window(binary.BigEndian.Uint64(b))
 		}
-		err := EachWindow(tx, func(_ resumetoken.Window, spent int) { d.arbiter.RecordCount += spent })
+		err := ForEachWindow(tx, func(_ resumetoken.Window, spent int) { d.arbiter.RecordCount += spent })
 		d.ledger.kept.Store(int64(d.arbiter.RecordCount))
 		return err
 	})
@@ -191,7 +191,7 @@
 
 // EachWindow tells, for each window of a ledger's store, how many of the tokens that
 // expire in it are spent.
-func EachWindow(tx *store.Tx, tell func(w resumetoken.Window, spent int)) error {
+func ForEachWindow(tx *store.Tx, tell func(w resumetoken.Window, spent int)) error {
 	all := tx.Bucket(spentBucket)
 	return all.ForEachBucket(func(k []byte) error {
 		tell(resumetoken.Window(binary.BigEndian.Uint64(k)), all.Bucket(k).Stats().KeyN)
@@ -330,7 +330,7 @@
 // ---- in memory ----
 
 type memory struct {
-	ledger *Ledger
+	ledger *Guard
 
 	mu      sync.Mutex
 	arbiter resumetoken.Arbiter
--- a/internal/replayguard/ledger_test.go
+++ b/internal/replayguard/ledger_test.go
@@ -36,9 +36,9 @@
 	return r
 }
 
-func start(t testing.TB, o Options) (*Ledger, context.CancelFunc) {
-	if o.Records == 0 {
-		o.Records = 1000
+func start(t testing.TB, o Options) (*Guard, context.CancelFunc) {
+	if o.MaxRecords == 0 {
+		o.MaxRecords = 1000
 	}
 	l, err := Open(o)
 	if err != nil {
@@ -55,7 +55,7 @@
 var number atomic.Uint64
 
 // token returns a token that a ledger arbitrates.
-func token(t testing.TB, r *resumetoken.KeyRing, l *Ledger, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
+func token(t testing.TB, r *resumetoken.KeyRing, l *Guard, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
 	n := number.Add(1)
 	text, err := resumetoken.Mint(r, issued, resumetoken.Claims{Issuer: "n0", Arbiter: "n0", GuardID: l.ID, FlowKey: "k", Group: "g",
 		Position: resumetoken.Position{Epoch: 1, Offset: n}, Lifetime: life, Nonce: resumetoken.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
@@ -69,11 +69,11 @@
 	return text, &tok
 }
 
-func judge(l *Ledger, tok *resumetoken.Token, claimant byte) resumetoken.Verdict {
+func judge(l *Guard, tok *resumetoken.Token, claimant byte) resumetoken.Verdict {
 	return spendAs(l, tok, resumetoken.RedemptionID{claimant})
 }
 
-func spendAs(l *Ledger, tok *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
+func spendAs(l *Guard, tok *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
 	tell := make(chan resumetoken.Verdict, 1)
 	l.Spend(tok, c, func(v resumetoken.Verdict) { tell <- v })
 	return <-tell
@@ -92,8 +92,8 @@
 	stop()
 	l, stop = start(t, Options{Dir: dir})
 	for claimant, want := range map[byte]resumetoken.Verdict{1: resumetoken.Granted, 2: resumetoken.Spent} {
-		if v := judge(l, tok, claimant); v != want || l.Kept() != 1 {
-			t.Errorf("claimant %d: %v, want %v; %d kept", claimant, v, want, l.Kept())
+		if v := judge(l, tok, claimant); v != want || l.RecordCount() != 1 {
+			t.Errorf("claimant %d: %v, want %v; %d kept", claimant, v, want, l.RecordCount())
 		}
 	}
 	stop()
@@ -118,7 +118,7 @@
 			var clock atomic.Int64
 			clock.Store(time.Now().UnixNano())
 			now := func() time.Time { return time.Unix(0, clock.Load()) }
-			l, _ := start(t, Options{Dir: dir, Records: 3, Now: now})
+			l, _ := start(t, Options{Dir: dir, MaxRecords: 3, Now: now})
 			var spent []*resumetoken.Token
 			for range 3 {
 				_, tok := token(t, r, l, now(), 30*time.Second)
@@ -128,17 +128,17 @@
 				spent = append(spent, tok)
 			}
 			_, more := token(t, r, l, now(), time.Hour)
-			if v := judge(l, more, 1); v != resumetoken.GuardFull || l.Ready() {
-				t.Errorf("one more: %v, ready %v", v, l.Ready())
+			if v := judge(l, more, 1); v != resumetoken.GuardFull || l.IsReady() {
+				t.Errorf("one more: %v, ready %v", v, l.IsReady())
 			}
 			if v := judge(l, spent[0], 1); v != resumetoken.Granted {
 				t.Errorf("asked again while full: %v", v)
 			}
 			clock.Add(int64(2 * time.Minute))
 			l.keeper.sweep()
-			for begun := time.Now(); l.Kept() > 0; time.Sleep(time.Millisecond) {
+			for begun := time.Now(); l.RecordCount() > 0; time.Sleep(time.Millisecond) {
 				if time.Since(begun) > 10*time.Second {
-					t.Fatalf("%d records were not forgotten", l.Kept())
+					t.Fatalf("%d records were not forgotten", l.RecordCount())
 				}
 			}
 			if v := judge(l, more, 1); v != resumetoken.Granted {
@@ -156,8 +156,8 @@
 	if err := l.keeper.(*durable).store.Close(); err != nil { // the disk is gone
 		t.Fatal(err)
 	}
-	if v := judge(l, tok, 1); v != resumetoken.GuardUnavailable || l.Ready() || l.Kept() != 0 {
-		t.Errorf("%v, ready %v, kept %d", v, l.Ready(), l.Kept())
+	if v := judge(l, tok, 1); v != resumetoken.GuardUnavailable || l.IsReady() || l.RecordCount() != 0 {
+		t.Errorf("%v, ready %v, kept %d", v, l.IsReady(), l.RecordCount())
 	}
 }
 
@@ -166,7 +166,7 @@
 	if err := os.WriteFile(dir, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(Options{Dir: dir, Records: 1}); err == nil || !strings.Contains(err.Error(), dir) {
+	if _, err := Open(Options{Dir: dir, MaxRecords: 1}); err == nil || !strings.Contains(err.Error(), dir) {
 		t.Errorf("a folder that can't be made: %v", err)
 	}
 }
@@ -174,12 +174,12 @@
 // installation is some nodes that may talk.
 type installation struct {
 	services []*Service
-	ledgers  []*Ledger
+	ledgers  []*Guard
 	stops    []func()
 	addrs    []string
 }
 
-func install(t testing.TB, n int, terms Terms) *installation {
+func install(t testing.TB, n int, terms ServiceConfig) *installation {
 	in := &installation{}
 	peers := map[string]string{}
 	var listeners []net.Listener
@@ -194,11 +194,11 @@
 	}
 	for i, listener := range listeners {
 		name := fmt.Sprintf("n%d", i)
-		l, _ := start(t, Options{Dir: t.TempDir(), Records: 1 << 20})
+		l, _ := start(t, Options{Dir: t.TempDir(), MaxRecords: 1 << 20})
 		s := NewService(name, l, terms, peers)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
-		wg.Go(func() { _ = (&Server{Name: name, Ledger: l, Ring: s.Ring}).Serve(ctx, listener) })
+		wg.Go(func() { _ = (&Server{Name: name, Guard: l, KeyRing: s.KeyRing}).Serve(ctx, listener) })
 		wg.Go(func() { s.Run(ctx) })
 		stop := func() { cancel(); wg.Wait() }
 		t.Cleanup(stop)
@@ -215,7 +215,7 @@
 		for _, s := range in.services {
 			there := 0
 			for _, p := range s.peers {
-				if p.Member(time.Now()).IsReady {
+				if p.Candidate(time.Now()).IsReady {
 					there++
 				}
 			}
@@ -236,8 +236,8 @@
 
 // A token presented everywhere at once is honoured once, whoever arbitrates.
 func TestOnceAmongNodes(t *testing.T) {
-	in := install(t, 3, Terms{Ring: ring(t, "a", "b"), Life: time.Minute, Skew: time.Second, Wait: 5 * time.Second})
-	in.services[1].Leave() // it names others from now on
+	in := install(t, 3, ServiceConfig{KeyRing: ring(t, "a", "b"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 5 * time.Second})
+	in.services[1].BeginDraining() // it names others from now on
 	for round := range 30 {
 		tok := in.services[round%2].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: uint64(round)})
 		var resumed, floors atomic.Int32
@@ -262,7 +262,7 @@
 
 // With its arbiter away a token is not honoured, in bounded time; it is unspent.
 func TestArbiterAway(t *testing.T) {
-	in := install(t, 2, Terms{Ring: ring(t, "a"), Life: time.Minute, Skew: time.Second, Wait: 150 * time.Millisecond})
+	in := install(t, 2, ServiceConfig{KeyRing: ring(t, "a"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 150 * time.Millisecond})
 	tok := in.services[0].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: 7})
 	in.stops[0]()
 	begun := time.Now()
@@ -274,14 +274,14 @@
 		t.Errorf("it took %v", took)
 	}
 	// Its own leaves too: nobody but itself is left, and its ledger survives.
-	in.services[1].Leave()
+	in.services[1].BeginDraining()
 	if m := in.services[1].Mint("k", "g", resumetoken.Position{}); m == "" {
 		t.Error("no token, though its own ledger survives a restart")
 	}
 	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.CanResume {
 		t.Errorf("at its arbiter: %+v", o)
 	}
-	s := NewService("n9", in.ledgers[0], Terms{Ring: ring(t, "a"), Life: time.Minute, Wait: 20 * time.Millisecond}, nil)
+	s := NewService("n9", in.ledgers[0], ServiceConfig{KeyRing: ring(t, "a"), TokenLifetime: time.Minute, ArbiterTimeout: 20 * time.Millisecond}, nil)
 	if o := s.Redeem(context.Background(), present(tok)); o.Verdict != resumetoken.ArbiterUnreachable {
 		t.Errorf("an arbiter that nobody knows: %+v", o)
 	}
@@ -290,7 +290,7 @@
 // Who has no key gets no verdict, and what is sent to a ledger costs it nothing.
 func TestStrangers(t *testing.T) {
 	r := ring(t, "a")
-	in := install(t, 2, Terms{Ring: r, Life: time.Minute, Skew: time.Second, Wait: time.Second})
+	in := install(t, 2, ServiceConfig{KeyRing: r, TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: time.Second})
 	tok := in.services[0].Mint("k", "g", resumetoken.Position{})
 	k, _ := ring(t, "z").Get(1)
 	claim := strings.Repeat("0", 32)
@@ -355,7 +355,7 @@
 		go func() { p.Run(ctx); close(done) }()
 		<-again
 		<-again // it was hung up on, and called again
-		if p.Member(time.Now()).IsReady {
+		if p.Candidate(time.Now()).IsReady {
 			t.Errorf("%s: believed", name)
 		}
 		cancel()
@@ -368,9 +368,9 @@
 
 // BenchmarkRedeem spends tokens at a ledger in a file, with many asking at once.
 func BenchmarkRedeem(b *testing.B) {
-	for name, o := range map[string]Options{"group": {}, "alone": {Group: 1}, "nosync": {NoSync: true}, "memory": {}} {
+	for name, o := range map[string]Options{"group": {}, "alone": {MaxBatch: 1}, "nosync": {NoSync: true}, "memory": {}} {
 		b.Run(name, func(b *testing.B) {
-			if o.Records = 1 << 24; name != "memory" {
+			if o.MaxRecords = 1 << 24; name != "memory" {
 				o.Dir = b.TempDir()
 			}
 			l, _ := start(b, o)
@@ -394,7 +394,7 @@
 	var clock atomic.Int64
 	clock.Store(time.Now().UnixNano())
 	r := ring(t, "a")
-	l, _ := start(t, Options{Dir: t.TempDir(), NoSync: true, Records: 100_000, Now: func() time.Time { return time.Unix(0, clock.Load()) }})
+	l, _ := start(t, Options{Dir: t.TempDir(), NoSync: true, MaxRecords: 100_000, Now: func() time.Time { return time.Unix(0, clock.Load()) }})
 	k := l.keeper.(*durable)
 	const step, perStep, day = time.Minute, 50, 24 * 60
 	var early, late int64
@@ -418,8 +418,8 @@
 		}
 	}
 	late = k.store.Size()
-	if late > early || l.Kept() > 4*perStep {
-		t.Errorf("%d bytes after a tenth of the day, %d at its end; %d records", early, late, l.Kept())
+	if late > early || l.RecordCount() > 4*perStep {
+		t.Errorf("%d bytes after a tenth of the day, %d at its end; %d records", early, late, l.RecordCount())
 	}
 }
 
@@ -428,7 +428,7 @@
 	const records = 1_000_000
 	r := ring(b, "a")
 	for b.Loop() {
-		l, stop := start(b, Options{Dir: b.TempDir(), Records: records})
+		l, stop := start(b, Options{Dir: b.TempDir(), MaxRecords: records})
 		var wg sync.WaitGroup
 		slots := make(chan struct{}, 1000)
 		for range records {
@@ -460,7 +460,7 @@
 // BenchmarkBesideForged redeems honest tokens while others present forged ones,
 // ten thousand a second.
 func BenchmarkBesideForged(b *testing.B) {
-	in := install(b, 2, Terms{Ring: ring(b, "a"), Life: time.Hour, Skew: time.Second, Wait: time.Second})
+	in := install(b, 2, ServiceConfig{KeyRing: ring(b, "a"), TokenLifetime: time.Hour, ClockSkew: time.Second, ArbiterTimeout: time.Second})
 	forged := in.services[0].Mint("k", "g", resumetoken.Position{})
 	forged = forged[:len(forged)-4] + "AAAA"
 	for name, rate := range map[string]int{"without": 0, "with": 10} {
--- a/internal/replayguard/peer.go
+++ b/internal/replayguard/peer.go
@@ -54,7 +54,7 @@
 }
 
 // Member tells how the peer is.
-func (p *Peer) Member(now time.Time) resumetoken.Candidate {
+func (p *Peer) Candidate(now time.Time) resumetoken.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := p.member
--- a/internal/replayguard/server.go
+++ b/internal/replayguard/server.go
@@ -29,10 +29,10 @@
 
 // Server answers other nodes' ledgers.
 type Server struct {
-	Name   string
-	Ledger *Ledger
-	Ring   func() *resumetoken.KeyRing
-	bad    logging.Throttled
+	Name    string
+	Guard   *Guard
+	KeyRing func() *resumetoken.KeyRing
+	bad     logging.Throttled
 }
 
 // Serve answers until ctx ends; it closes the listener.
@@ -133,20 +133,20 @@
 	}
 	challenge, seq := words[1], words[2]
 	id, err := strconv.ParseUint(words[3], 16, 32)
-	k, known := s.Ring().Get(resumetoken.KeyID(id))
+	k, known := s.KeyRing().Get(resumetoken.KeyID(id))
 	if err != nil || !known || !unseal(k, "ask", words) {
 		return fmt.Errorf("%w: its seal does not fit, key %.10q", errLine, words[3])
 	}
 	context := "answer " + challenge
 	if words[0] == hello {
 		room, stays := "full", "goes"
-		if s.Ledger.Ready() {
+		if s.Guard.IsReady() {
 			room = "ready"
 		}
-		if s.Ledger.Stays {
+		if s.Guard.IsDurable {
 			stays = "stays"
 		}
-		say(sealed(k, context, aboutMe, seq, s.Name, hex.EncodeToString(s.Ledger.ID[:]), room, stays))
+		say(sealed(k, context, aboutMe, seq, s.Name, hex.EncodeToString(s.Guard.ID[:]), room, stays))
 		return nil
 	}
 	var c resumetoken.RedemptionID
@@ -154,11 +154,11 @@
 		return fmt.Errorf("%w: claimant %.40q", errLine, words[4])
 	}
 	tell := func(v resumetoken.Verdict) { say(sealed(k, context, verdict, seq, v.String())) }
-	t, err := resumetoken.Open(s.Ring(), words[5])
+	t, err := resumetoken.Open(s.KeyRing(), words[5])
 	if err != nil {
 		tell(resumetoken.Invalid)
 		return nil
 	}
-	s.Ledger.Spend(&t, c, tell)
+	s.Guard.Spend(&t, c, tell)
 	return nil
 }
--- a/internal/replayguard/service.go
+++ b/internal/replayguard/service.go
@@ -16,37 +16,37 @@
 const retry = 10 * time.Millisecond
 
 // Terms are what may change while the node runs.
-type Terms struct {
-	Ring *resumetoken.KeyRing
-	Life time.Duration // of a token
-	Skew time.Duration // by which nodes' clocks may differ
-	Wait time.Duration // for an arbiter's answer, before the client gets a snapshot
+type ServiceConfig struct {
+	KeyRing        *resumetoken.KeyRing
+	TokenLifetime  time.Duration // of a token
+	ClockSkew      time.Duration // by which nodes' clocks may differ
+	ArbiterTimeout time.Duration // for an arbiter's answer, before the client gets a snapshot
 }
 
 // Service mints and redeems tokens for one node.
 type Service struct {
-	name    string
-	ledger  *Ledger
-	peers   map[string]*Peer
-	terms   atomic.Pointer[Terms]
-	leaving atomic.Bool
-	failed  logging.Throttled
-	Counts  Counts
+	name     string
+	ledger   *Guard
+	peers    map[string]*Peer
+	terms    atomic.Pointer[ServiceConfig]
+	leaving  atomic.Bool
+	failed   logging.Throttled
+	Counters Counters
 }
 
 // Counts are what a Service has done so far.
-type Counts struct {
-	Minted, Bare atomic.Int64 // tokens; moves without one
-	Verdicts     [resumetoken.ArbiterUnreachable + 1]atomic.Int64
+type Counters struct {
+	Minted, WithoutToken atomic.Int64 // tokens; moves without one
+	Verdicts             [resumetoken.ArbiterUnreachable + 1]atomic.Int64
 }
 
 // NewService returns the node's service; peers are its addresses by name.
-func NewService(name string, l *Ledger, t Terms, peers map[string]string) *Service {
+func NewService(name string, l *Guard, t ServiceConfig, peers map[string]string) *Service {
 	s := &Service{name: name, ledger: l, peers: map[string]*Peer{}}
 	s.terms.Store(&t)
 	for name, addr := range peers {
 		if name != s.name { // one file may serve all nodes
-			s.peers[name] = &Peer{Name: name, Addr: addr, ring: s.Ring}
+			s.peers[name] = &Peer{Name: name, Addr: addr, ring: s.KeyRing}
 		}
 	}
 	return s
@@ -62,14 +62,14 @@
 }
 
 // Ring returns the keys in force.
-func (s *Service) Ring() *resumetoken.KeyRing { return s.terms.Load().Ring }
+func (s *Service) KeyRing() *resumetoken.KeyRing { return s.terms.Load().KeyRing }
 
 // Change puts other terms in force.
-func (s *Service) Change(t Terms) { s.terms.Store(&t) }
+func (s *Service) UpdateConfig(t ServiceConfig) { s.terms.Store(&t) }
 
 // Leave tells that the node is about to end: others have to arbitrate what it
 // mints from now on.
-func (s *Service) Leave() { s.leaving.Store(true) }
+func (s *Service) BeginDraining() { s.leaving.Store(true) }
 
 // Mint returns a token for a client that is moved, or "" if nobody could arbitrate
 // one.
@@ -79,25 +79,25 @@
 	_, _ = rand.Read(n[:])
 	peers := make([]resumetoken.Candidate, 0, len(s.peers))
 	for _, p := range s.peers {
-		peers = append(peers, p.Member(now))
+		peers = append(peers, p.Candidate(now))
 	}
-	self := resumetoken.Candidate{Name: s.name, GuardID: s.ledger.ID, IsReady: s.ledger.Ready(), IsDurable: s.ledger.Stays}
+	self := resumetoken.Candidate{Name: s.name, GuardID: s.ledger.ID, IsReady: s.ledger.IsReady(), IsDurable: s.ledger.IsDurable}
 	arbiter, ok := resumetoken.ChooseArbiter(self, s.leaving.Load(), peers, n)
 	if !ok {
-		s.Counts.Bare.Add(1)
+		s.Counters.WithoutToken.Add(1)
 		return ""
 	}
 	if mutation.Enabled("position") {
 		pos.Offset++
 	}
-	text, err := resumetoken.Mint(terms.Ring, now, resumetoken.Claims{Issuer: s.name, Arbiter: arbiter.Name, GuardID: arbiter.GuardID,
-		Position: pos, FlowKey: flowKey, Group: group, Lifetime: terms.Life, Nonce: n})
+	text, err := resumetoken.Mint(terms.KeyRing, now, resumetoken.Claims{Issuer: s.name, Arbiter: arbiter.Name, GuardID: arbiter.GuardID,
+		Position: pos, FlowKey: flowKey, Group: group, Lifetime: terms.TokenLifetime, Nonce: n})
 	if err != nil {
 		s.failed.Warn("no token for a moved client", "err", err)
-		s.Counts.Bare.Add(1)
+		s.Counters.WithoutToken.Add(1)
 		return ""
 	}
-	s.Counts.Minted.Add(1)
+	s.Counters.Minted.Add(1)
 	return text
 }
 
@@ -105,20 +105,20 @@
 func (s *Service) Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome {
 	terms := s.terms.Load()
 	if mutation.Enabled("binding") {
-		if t, err := resumetoken.Open(terms.Ring, p.Token); err == nil {
+		if t, err := resumetoken.Open(terms.KeyRing, p.Token); err == nil {
 			return s.ask(ctx, terms, p.Token, &resumetoken.Redemption{Token: t})
 		}
 	}
-	r, o, settled := resumetoken.BeginRedemption(terms.Ring, time.Now(), p, terms.Skew)
+	r, o, settled := resumetoken.BeginRedemption(terms.KeyRing, time.Now(), p, terms.ClockSkew)
 	if !settled {
 		o = s.ask(ctx, terms, p.Token, r)
 	}
-	s.Counts.Verdicts[o.Verdict].Add(1)
+	s.Counters.Verdicts[o.Verdict].Add(1)
 	return o
 }
 
-func (s *Service) ask(ctx context.Context, terms *Terms, text string, r *resumetoken.Redemption) resumetoken.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, terms.Wait)
+func (s *Service) ask(ctx context.Context, terms *ServiceConfig, text string, r *resumetoken.Redemption) resumetoken.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, terms.ArbiterTimeout)
 	defer cancel()
 	var c resumetoken.RedemptionID
 	_, _ = rand.Read(c[:])
--- a/internal/replayguard/stored_test.go
+++ b/internal/replayguard/stored_test.go
@@ -62,7 +62,7 @@
 }
 
 // startStored starts a ledger whose clock stands still.
-func startStored(t *testing.T, dir string, at time.Time) (*Ledger, context.CancelFunc) {
+func startStored(t *testing.T, dir string, at time.Time) (*Guard, context.CancelFunc) {
 	t.Helper()
 	return start(t, Options{Dir: dir, Now: func() time.Time { return at }})
 }
@@ -126,7 +126,7 @@
 		if err := tx.ForEach(func(name []byte, b *store.Bucket) error { return list(string(name), b) }); err != nil {
 			return err
 		}
-		return EachWindow(tx, func(w resumetoken.Window, spent int) { records[w] = spent })
+		return ForEachWindow(tx, func(w resumetoken.Window, spent int) { records[w] = spent })
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -168,8 +168,8 @@
 	// A clock set back by half a minute: only the stored mark tells that sweptToken is
 	// too old.
 	l, _ := startStored(t, stored, storedTime.Add(-30*time.Second))
-	if l.ID != storedID || !l.Stays || l.Kept() != 3 {
-		t.Errorf("ledger %x, stays %v, %d records", l.ID, l.Stays, l.Kept())
+	if l.ID != storedID || !l.IsDurable || l.RecordCount() != 3 {
+		t.Errorf("ledger %x, stays %v, %d records", l.ID, l.IsDurable, l.RecordCount())
 	}
 	for i, tok := range storedTokens {
 		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
@@ -222,7 +222,7 @@
 func TestServerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
 	l, _ := startStored(t, copyStored(t), storedTime)
-	s := &Server{Name: "n0", Ledger: l, Ring: func() *resumetoken.KeyRing { return keys }}
+	s := &Server{Name: "n0", Guard: l, KeyRing: func() *resumetoken.KeyRing { return keys }}
 	for _, line := range wireLines {
 		if answer := exchange(t, s, line.ask); answer != line.answer {
 			t.Errorf("%q\nis answered %q\nwant        %q", line.ask, answer, line.answer)
@@ -231,8 +231,8 @@
 	if answer := exchange(t, s, "SPEND\r\n"); answer != "NO\r\n" {
 		t.Errorf("a malformed line is answered %q", answer)
 	}
-	s.Ledger = Broke()
-	s.Ledger.ID = storedID
+	s.Guard = NewUnavailable()
+	s.Guard.ID = storedID
 	if answer, want := exchange(t, s, wireLines[0].ask), "LEDGER 1 n0 0a1b2c3d4e5f6071 full goes f24629a2e2db2e7bda416f03f391e0ea\r\n"; answer != want {
 		t.Errorf("a ledger with no room answers %q, want %q", answer, want)
 	}
