--- a/cmd/coralagent/promises.go
+++ b/cmd/coralagent/promises.go
@@ -13,8 +13,8 @@
 		return nil
 	}
 	p := &agent.Promises{Config: f.SLO.Config(), Pace: f.SLO.Pace, Time: f.SLO.Time, Zones: f.Zones.Config(),
-		Guards: slo.Guards{Greedy: mutation.Enabled("greedy"), Confidence: mutation.Enabled("confidence"), Hysteresis: mutation.Enabled("hysteresis"),
-			Explore: mutation.Enabled("explore"), Limits: mutation.Enabled("limits"), Stale: mutation.Enabled("stale-evidence")}}
+		Guards: slo.Guards{GradualMoves: mutation.Enabled("greedy"), Confidence: mutation.Enabled("confidence"), Hysteresis: mutation.Enabled("hysteresis"),
+			ExploreLimit: mutation.Enabled("explore"), CapacityLimits: mutation.Enabled("limits"), EvidenceExpiry: mutation.Enabled("stale-evidence")}}
 	for _, v := range f.ReplicatedLog.Voters {
 		p.Voters = append(p.Voters, v.Name)
 	}
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -19,7 +19,7 @@
 	zones map[string]string // the region of each zone that is in one
 	now   func() time.Duration
 
-	tally *slo.Tally
+	tally *slo.Recorder
 	at    map[string]string // next hops' regions
 	done  []slo.Sample
 	known uint64 // version of the contracts that count
@@ -31,7 +31,7 @@
 		return
 	}
 	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.SLO.Time(time.Duration(time.Now().UnixNano())) },
-		tally: slo.NewTally(f.SLO.Config(), f.Name, f.Zone, time.Now().UnixNano())}
+		tally: slo.NewRecorder(f.SLO.Config(), f.Name, f.Zone, time.Now().UnixNano())}
 	for region, zones := range f.Zones.Regions {
 		for _, zone := range zones {
 			p.zones[zone] = region
@@ -71,7 +71,7 @@
 	}
 	p.core.RunOnLoop(func(time.Duration) {
 		p.at = at
-		p.over(p.tally.Turn(p.now()))
+		p.over(p.tally.Rotate(p.now()))
 		s.Samples, s.Contracts, p.done = p.done, p.known, nil
 	})
 }
@@ -89,7 +89,7 @@
 		}
 	}
 	p.core.RunOnLoop(func(time.Duration) {
-		p.tally.Know(s)
+		p.tally.SetContracts(s)
 		p.known = told.Version
 	})
 }
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -80,7 +80,7 @@
 	if err := logentry.UnmarshalStrict(e.Body, &c); err != nil {
 		return fmt.Errorf("entry: contracts: %w", err)
 	}
-	if len(c.Steer) > 0 {
+	if len(c.Allocations) > 0 {
 		return errors.New("entry: contracts: the fleet alone decides on allocations")
 	}
 	return nil
--- a/internal/fleet/agent/promises.go
+++ b/internal/fleet/agent/promises.go
@@ -41,14 +41,14 @@
 	out        map[string]chan []byte // to each other voter
 
 	mu    sync.Mutex
-	fleet *slo.Fleet        // nil for one that never leads
+	fleet *slo.Aggregator   // nil for one that never leads
 	known map[string]string // members' zones
 
-	steer   *slo.Steer
-	seen    []slo.Seen // not taken yet
-	parts   []part     // the last ones
-	version uint64     // of the contracts that the fleet knows
-	names   []string   // and of the regions
+	steer   *slo.Controller
+	seen    []slo.Observation // not taken yet
+	parts   []part            // the last ones
+	version uint64            // of the contracts that the fleet knows
+	names   []string          // and of the regions
 	looked  time.Duration
 	zones   uint64 // version of the postures that were looked at last
 	busy    chan struct{}
@@ -59,8 +59,8 @@
 	k := &keeping{Promises: *o.Promises, name: o.Name, zone: o.Zone, tell: o.Member.Tell, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
 	for _, v := range k.Voters {
 		if v == k.name {
-			k.fleet, k.steer = slo.NewFleet(k.Config), slo.NewSteer(k.Config)
-			k.steer.Ignore = k.Guards
+			k.fleet, k.steer = slo.NewAggregator(k.Config), slo.NewController(k.Config)
+			k.steer.DisabledGuards = k.Guards
 			continue
 		}
 		k.out[v] = make(chan []byte, waiting)
@@ -94,7 +94,7 @@
 // another than the one beside this agent.
 func (k *keeping) measured(now time.Duration, samples []slo.Sample) {
 	for _, s := range samples[:min(len(samples), mostSamples)] {
-		s.Member, s.From = k.name, k.zone
+		s.Member, s.Zone = k.name, k.zone
 		raw, err := json.Marshal(s)
 		if err != nil {
 			slog.Error("fleet: promises", "err", err)
@@ -129,7 +129,7 @@
 func (k *keeping) merge(now time.Duration, s slo.Sample) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if at, ok := k.known[s.Member]; !ok || at != s.From {
+	if at, ok := k.known[s.Member]; !ok || at != s.Zone {
 		return
 	}
 	if _, err := k.fleet.Merge(k.Time(now), s); err != nil {
@@ -149,10 +149,10 @@
 		k.known[m.Name] = m.Zone
 	}
 	if s.Version != k.version || !slices.Equal(names, k.names) {
-		k.fleet.Know(s, regions)
+		k.fleet.SetContracts(s, regions)
 		k.version, k.names = s.Version, names
 	}
-	seen := k.fleet.Turn(k.Time(now))
+	seen := k.fleet.CloseIntervals(k.Time(now))
 	k.mu.Unlock()
 	k.count(now, seen)
 	k.seen = append(k.seen, seen...)
@@ -172,7 +172,7 @@
 func promised(s slo.State) *agentapi.Promised {
 	p := &agentapi.Promised{Version: s.Version, Contracts: []agentapi.Contract{}}
 	for _, c := range s.Contracts {
-		p.Contracts = append(p.Contracts, agentapi.Contract{Name: c.Name, Priority: c.Priority, Messages: c.Messages})
+		p.Contracts = append(p.Contracts, agentapi.Contract{Name: c.Name, Priority: c.Priority, Messages: c.ForMessages})
 	}
 	return p
 }
--- a/internal/fleet/agent/promises_lead.go
+++ b/internal/fleet/agent/promises_lead.go
@@ -25,12 +25,12 @@
 	regions := k.regions(v.State.Zones, a.Member.Words(), members)
 	k.turn(now, s, regions, members)
 	if !leads {
-		k.steer.Take(s, k.seen)
+		k.steer.Observe(s, k.seen)
 		k.seen = nil
 		return
 	}
 	at, version := k.Time(now), v.State.Zones.Version
-	if len(s.Contracts) == 0 || at-k.looked < k.Config.Part && at >= k.looked && version == k.zones {
+	if len(s.Contracts) == 0 || at-k.looked < k.Config.SampleInterval && at >= k.looked && version == k.zones {
 		return
 	}
 	select {
@@ -43,7 +43,7 @@
 		return
 	}
 	demand, _ := k.demand()
-	change, why, ok := k.steer.Step(at, s, k.seen, regions, demand)
+	change, why, ok := k.steer.Evaluate(at, s, k.seen, regions, demand)
 	k.seen, k.looked, k.zones = nil, at, version
 	if !ok {
 		<-k.busy
--- a/internal/fleet/agent/promises_regions.go
+++ b/internal/fleet/agent/promises_regions.go
@@ -18,17 +18,17 @@
 
 // count adds up what was seen. A part in which nobody measured anything counts as well, once
 // a later one has come.
-func (k *keeping) count(now time.Duration, seen []slo.Seen) {
+func (k *keeping) count(now time.Duration, seen []slo.Observation) {
 	for _, w := range seen {
-		if n := len(k.parts); n == 0 || k.parts[n-1].slot < w.Slot {
-			k.parts = append(k.parts, part{w.Slot, map[string]float64{}, map[string]float64{}})
+		if n := len(k.parts); n == 0 || k.parts[n-1].slot < w.Interval {
+			k.parts = append(k.parts, part{w.Interval, map[string]float64{}, map[string]float64{}})
 		}
-		p, all := &k.parts[len(k.parts)-1], float64(w.Hist.All())
+		p, all := &k.parts[len(k.parts)-1], float64(w.Histogram.Count())
 		p.contracts[w.Contract] += all
 		p.inRegion[w.Region] += all
 	}
-	last := int64((k.Time(now)-k.Config.Late)/k.Config.Part) - 1
-	k.parts = slices.DeleteFunc(k.parts, func(p part) bool { return p.slot <= last-int64(k.Config.Parts) })
+	last := int64((k.Time(now)-k.Config.LateSampleTimeout)/k.Config.SampleInterval) - 1
+	k.parts = slices.DeleteFunc(k.parts, func(p part) bool { return p.slot <= last-int64(k.Config.EvidenceIntervals) })
 }
 
 // demand is set-ups a second by contract and by region, of the Config's seconds.
@@ -37,7 +37,7 @@
 	if len(k.parts) == 0 {
 		return contracts, inRegion
 	}
-	span := float64(k.parts[len(k.parts)-1].slot-k.parts[0].slot+1) * k.Config.Part.Seconds()
+	span := float64(k.parts[len(k.parts)-1].slot-k.parts[0].slot+1) * k.Config.SampleInterval.Seconds()
 	for _, p := range k.parts {
 		for name, n := range p.contracts {
 			contracts[name] += n / span
@@ -103,7 +103,7 @@
 			of[region] = r
 		}
 		if all := r.Capacity + bears; all > 0 {
-			r.Usable = (r.Usable*r.Capacity + usable*bears) / all
+			r.UsableFraction = (r.UsableFraction*r.Capacity + usable*bears) / all
 			if load >= 0 {
 				r.Load = (max(r.Load, 0)*r.Capacity + load*bears) / all
 			}
@@ -114,7 +114,7 @@
 	for _, name := range slices.Sorted(maps.Keys(of)) {
 		r := of[name]
 		if other := r.Load*r.Capacity - counted[name]; other > little*r.Capacity {
-			r.Other = other
+			r.OtherTraffic = other
 		}
 		all = append(all, *r)
 	}
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -13,17 +13,17 @@
 func TestRegions(t *testing.T) {
 	cfg := zonestatus.DefaultConfig()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
-	k := &keeping{Promises: Promises{Config: slo.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
+	k := &keeping{Promises: Promises{Config: slo.DefaultConfig(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
 	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
 	see := func(member string, servers int, load float64) zonestatus.Report {
 		return zonestatus.Report{Member: member, Observations: []zonestatus.Observation{{Zone: "a", Endpoints: servers, Load: load}, {Zone: "b", Endpoints: servers, Load: -1}, {Zone: "c", Endpoints: servers, WarmingUp: servers, Load: load}}}
 	}
 	words := []zonestatus.Report{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
 	state := zonestatus.State{Pairs: []zonestatus.PairStatus{{From: "a", To: "b", Status: zonestatus.Evacuated}, {From: "b", To: "a", Share: 0.5}}}
-	want := []slo.Region{{Name: "a", Usable: 0.5, Capacity: 20, Other: 8, Load: 0.4}, {Name: "south", Capacity: 26, Usable: 6.0 / 26, Load: 0.4 * 6 / 26}}
-	want[1].Other = 0 // below a tenth of what it bears
+	want := []slo.Region{{Name: "a", UsableFraction: 0.5, Capacity: 20, OtherTraffic: 8, Load: 0.4}, {Name: "south", Capacity: 26, UsableFraction: 6.0 / 26, Load: 0.4 * 6 / 26}}
+	want[1].OtherTraffic = 0 // below a tenth of what it bears
 	for i, r := range k.regions(state, words, members) {
-		if d := r.Usable - want[i].Usable; r.Name != want[i].Name || r.Capacity != want[i].Capacity || d > 1e-9 || d < -1e-9 || r.Other-want[i].Other > 1e-9 || r.Load-want[i].Load > 1e-9 {
+		if d := r.UsableFraction - want[i].UsableFraction; r.Name != want[i].Name || r.Capacity != want[i].Capacity || d > 1e-9 || d < -1e-9 || r.OtherTraffic-want[i].OtherTraffic > 1e-9 || r.Load-want[i].Load > 1e-9 {
 			t.Errorf("%+v, want %+v", r, want[i])
 		}
 	}
@@ -32,19 +32,19 @@
 // A sample counts where its member is there and stands where it says, and once.
 func TestSamplesOfMembers(t *testing.T) {
 	now := 1000 * time.Hour
-	tally := slo.NewTally(slo.Default(), "n2", "b", 1)
+	tally := slo.NewRecorder(slo.DefaultConfig(), "n2", "b", 1)
 	contracts := slo.State{Version: 1, Contracts: []slo.Contract{{Name: "gold"}}}
-	tally.Know(contracts)
-	tally.Turn(now)
+	tally.SetContracts(contracts)
+	tally.Rotate(now)
 	tally.Record(now, "gold", "a", 20*time.Millisecond)
-	over := now + slo.Default().Part
-	s := tally.Turn(over)
+	over := now + slo.DefaultConfig().SampleInterval
+	s := tally.Rotate(over)
 	for name, tt := range map[string]struct {
 		at   string
 		want int
 	}{"known": {"b", 1}, "elsewhere": {"c", 0}, "a stranger": {"", 0}} {
-		k := &keeping{Promises: Promises{Config: slo.Default(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }}, name: "n1",
-			fleet: slo.NewFleet(slo.Default()), steer: slo.NewSteer(slo.Default())}
+		k := &keeping{Promises: Promises{Config: slo.DefaultConfig(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }}, name: "n1",
+			fleet: slo.NewAggregator(slo.DefaultConfig()), steer: slo.NewController(slo.DefaultConfig())}
 		members := []zonestatus.Member{{Name: "n2", Zone: tt.at, Alive: true}}
 		if tt.at == "" {
 			members = nil
@@ -53,7 +53,7 @@
 		k.turn(over, contracts, regions, members)
 		k.merge(over, *s)
 		k.merge(over, *s)
-		k.turn(over+2*slo.Default().Part, contracts, regions, members)
+		k.turn(over+2*slo.DefaultConfig().SampleInterval, contracts, regions, members)
 		demand, _ := k.demand()
 		if len(k.seen) != tt.want || tt.want > 0 && demand["gold"] != 0.2 {
 			t.Errorf("%s: %+v, demand %v", name, k.seen, demand)
--- a/internal/fleet/agent/routes.go
+++ b/internal/fleet/agent/routes.go
@@ -57,7 +57,7 @@
 	if len(t.kept) > 0 {
 		last = t.kept[len(t.kept)-1]
 	}
-	of := [3]uint64{s.Accounts.Version, s.Contracts.Version, s.Contracts.Steps}
+	of := [3]uint64{s.Accounts.Version, s.Contracts.Version, s.Contracts.AllocationVersion}
 	same := of == t.of && last.Index != 0
 	if none := len(s.Accounts.Routes) == 0 && len(last.Set) == 0 && (last.Index != 0 || !t.has); none ||
 		same && (maps.Equal(ready, last.Ready) || now < t.made+recount) {
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -32,9 +32,9 @@
 			Used:       map[string]account.Amounts{"acme": {Connections: 118, Setups: 119, Retries: 120, Probes: 121}},
 			UsedBefore: map[string]account.Amounts{"acme/web": {Connections: 122, Setups: 123, Retries: 124, Probes: 125}},
 			Demand:     map[string]account.Amounts{"acme/web:r": {Connections: 126, Setups: 127, Retries: 128, Probes: 129}}},
-		Samples: []slo.Sample{{Member: "node-b", From: "zone-c", Boot: 130, Seq: 131, Slot: 132,
+		Samples: []slo.Sample{{Member: "node-b", Zone: "zone-c", Incarnation: 130, Seq: 131, Interval: 132,
 			Regions: []string{"region-a", "region-b"}, Dropped: 133,
-			Cells: []slo.Cell{{Contract: "contract-a", Region: 1, Hist: slo.Hist{2, 3, 1, 4}}}}},
+			Measurements: []slo.Measurement{{Contract: "contract-a", RegionIndex: 1, Histogram: slo.Histogram{2, 3, 1, 4}}}}},
 		Contracts: 134,
 	}
 }
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -124,7 +124,7 @@
 		}
 	case KindContracts:
 		var c slo.Change
-		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" && len(c.Steer) > 0 {
+		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" && len(c.Allocations) > 0 {
 			err = errMembers
 		}
 		if err == nil {
--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -86,11 +86,11 @@
 	half := &account.Route{Name: "half", Match: account.Match{Class: "c2", Tenant: "t2", HashFrom: 0.25, HashTo: 0.75}}
 	gone := &account.Route{Name: "gone", Match: account.Match{Class: "c1", Tenant: "t1"}}
 	k1 := slo.Contract{
-		Name: "k1", Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Messages: true, Window: time.Minute, Share: 0.99,
+		Name: "k1", Holder: "acme", Quantile: 0.95, Objective: 50 * time.Millisecond, ForMessages: true, Window: time.Minute, Target: 0.99,
 		Priority: 2, Zones: []string{"a", "b"}}
 	k2 := slo.Contract{
-		Name: "k2", Holder: "acme:eu", Quantile: 0.9, Bound: 70 * time.Millisecond, Window: 10 * time.Second, Share: 0.98, Priority: 9}
-	k3 := slo.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Bound: time.Second, Window: 20 * time.Second, Share: 0.97}
+		Name: "k2", Holder: "acme:eu", Quantile: 0.9, Objective: 70 * time.Millisecond, Window: 10 * time.Second, Target: 0.98, Priority: 9}
+	k3 := slo.Contract{Name: "k3", Holder: "acme/web", Quantile: 0.8, Objective: time.Second, Window: 20 * time.Second, Target: 0.97}
 	return []storedChange{
 		{"accounts", 1, account.Change{Ops: []account.Op{
 			{Kind: "found", Path: "acme", Node: acme},
@@ -135,10 +135,10 @@
 			{From: "a", To: "c", Status: zonestatus.Recovering, Step: 1, Share: 0.05, Rate: 9.5, ChangedAt: 3002, Failures: 2},
 		}}},
 		{"contracts", 2, slo.Change{Set: []slo.Contract{k1, k2, k3}}},
-		{"contracts", 2, slo.Change{Base: 1, Drop: []string{"k3"}}},
-		{"contracts", 0, slo.Change{Base: 2, Steer: []slo.Allocation{{Contract: "k1", Shares: map[string]float64{"a": 1}}}}},
-		{"contracts", 0, slo.Change{Base: 2, After: 1, Steer: []slo.Allocation{
-			{Contract: "k1", Shares: map[string]float64{"a": 0.25, "b": 0.75}, Over: 0.125, Unkept: "no room"}}}},
+		{"contracts", 2, slo.Change{BaseVersion: 1, Drop: []string{"k3"}}},
+		{"contracts", 0, slo.Change{BaseVersion: 2, Allocations: []slo.Allocation{{Contract: "k1", Shares: map[string]float64{"a": 1}}}}},
+		{"contracts", 0, slo.Change{BaseVersion: 2, BaseAllocationVersion: 1, Allocations: []slo.Allocation{
+			{Contract: "k1", Shares: map[string]float64{"a": 0.25, "b": 0.75}, Overflow: 0.125, UnmetReason: "no room"}}}},
 	}
 }
 
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -73,7 +73,7 @@
 func TestStoredSealedState(t *testing.T) {
 	s, sealed := storedState(t)
 	if s.Index != 12 || s.Genesis.Zones.StoreSetupRate != 900 || s.Zones.Shed != 0.14 || s.Accounts.Nodes["acme/web"].Overcommit != 1.25 ||
-		s.Contracts.Steered[0].Unkept != "no room" {
+		s.Contracts.Allocations[0].UnmetReason != "no room" {
 		t.Errorf("read as %+v", s)
 	}
 	if written, err := sealState(s); err != nil || !bytes.Equal(written, sealed) {
--- a/internal/fleet/slo/allocate.go
+++ b/internal/fleet/slo/allocate.go
@@ -47,7 +47,7 @@
 // allocate places all contracts: those that can be kept by priority, then those that
 // can't. Within a priority all who are somewhere stay first, so that few are moved; what
 // comes later never takes from what came before.
-func (st *Steer) allocate(wants []*want, places []place) {
+func (st *Controller) allocate(wants []*want, places []place) {
 	order := slices.Clone(wants)
 	rank := func(w *want) int {
 		if w.lastUnkept != "" {
@@ -106,7 +106,7 @@
 }
 
 // stay keeps what a contract has where the region bears it; the rest is homeless.
-func (st *Steer) stay(w *want, places []place) {
+func (st *Controller) stay(w *want, places []place) {
 	w.next, w.over = make([]int, len(places)), make([]int, len(places))
 	w.homeless = mille
 	for r := range places {
@@ -115,7 +115,7 @@
 			k = w.cur[r] // it goes there whatever is said here
 		} else if w.allowed[r] && places[r].usable {
 			k = w.cur[r]
-			if !st.Ignore.Limits {
+			if !st.DisabledGuards.CapacityLimits {
 				k = places[r].stays(w, k)
 			}
 		}
@@ -146,7 +146,7 @@
 // house finds room for what is homeless. It is on its way already, as its region is left
 // or full, so no step bounds it. What fits nowhere goes where it was, or else by what the
 // regions bear, and is told as over: whoever refuses, refuses these first.
-func (st *Steer) house(w *want, places []place) {
+func (st *Controller) house(w *want, places []place) {
 	list := w.by(places)
 	for _, full := range []bool{false, true} { // to the full mark everywhere before above it anywhere
 		for _, r := range list {
@@ -154,7 +154,7 @@
 			if !full {
 				k = fit(min(places[r].room, places[r].fill), w.unit, k)
 			}
-			if st.Ignore.Limits {
+			if st.DisabledGuards.CapacityLimits {
 				k = w.homeless
 			}
 			w.next[r] += k
--- a/internal/fleet/slo/allocate_test.go
+++ b/internal/fleet/slo/allocate_test.go
@@ -21,7 +21,7 @@
 	}
 	var wants []*want
 	for i := range rapid.IntRange(1, 8).Draw(t, "contracts") {
-		c := &Contract{Name: fmt.Sprint("c", i), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Quantile: 0.9, Share: 0.9}
+		c := &Contract{Name: fmt.Sprint("c", i), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Quantile: 0.9, Target: 0.9}
 		w := &want{contract: c, unit: rapid.Float64Range(0, 40).Draw(t, "demand") / mille, free: true, due: rapid.Bool().Draw(t, "due"), burning: rapid.Bool().Draw(t, "burning")}
 		if rapid.IntRange(0, 3).Draw(t, "unkept") == 0 {
 			w.lastUnkept = "bound"
@@ -63,7 +63,7 @@
 			}
 		}
 		after := slices.Clone(places)
-		NewSteer(Default()).allocate(wants, after)
+		NewController(DefaultConfig()).allocate(wants, after)
 		load := make([]float64, len(places))
 		for _, w := range wants {
 			sum, forced, moved := 0, false, 0
@@ -99,7 +99,7 @@
 		least := rapid.IntRange(0, 2).Draw(t, "least")
 		higher := func(w *want) bool { return w.lastUnkept == "" && w.contract.Priority <= least }
 		all, some := again(wants, func(*want) bool { return true }), again(wants, higher)
-		st := NewSteer(Default())
+		st := NewController(DefaultConfig())
 		st.allocate(all, slices.Clone(places))
 		st.allocate(some, slices.Clone(places))
 		for i, w := range again(all, higher) {
--- a/internal/fleet/slo/burn.go
+++ b/internal/fleet/slo/burn.go
@@ -29,7 +29,7 @@
 // to be: that is the promise's own term. Confidence is asked of regions, before anyone is
 // moved; a window in which nobody measured counts as none.
 func (t *track) turn(c *Config, slot int64) {
-	parts := int64((t.contract.Window + c.Part - 1) / c.Part)
+	parts := int64((t.contract.Window + c.SampleInterval - 1) / c.SampleInterval)
 	window := slot / parts
 	if window <= t.window {
 		return
@@ -52,7 +52,7 @@
 		return 0
 	}
 	mask := ^uint64(0) >> (64 - n)
-	return float64(bits.OnesCount64(t.history&mask)) / float64(n) / (1 - t.contract.Share)
+	return float64(bits.OnesCount64(t.history&mask)) / float64(n) / (1 - t.contract.Target)
 }
 
 // burning tells whether the contract is about to be broken if it stays as it is.
--- a/internal/fleet/slo/explore.go
+++ b/internal/fleet/slo/explore.go
@@ -8,9 +8,9 @@
 // explore sends a small part of some contracts to regions that nobody has measured of late:
 // as few of them as bring enough samples, those of the least priority first, and none whose
 // budget is being spent or that explores already.
-func (st *Steer) explore(wants []*want, places []place, slot int64) {
-	part, seconds := int(st.cfg.Explore*mille), st.cfg.Part.Seconds()*float64(st.cfg.Parts)
-	if st.Ignore.Explore {
+func (st *Controller) explore(wants []*want, places []place, slot int64) {
+	part, seconds := int(st.cfg.ExploreFraction*mille), st.cfg.SampleInterval.Seconds()*float64(st.cfg.EvidenceIntervals)
+	if st.DisabledGuards.ExploreLimit {
 		part = mille / 5
 	}
 	order := slices.Clone(wants)
@@ -22,12 +22,12 @@
 		for _, messages := range []bool{false, true} {
 			samples := 0.0 // to be expected within the evidence's time
 			for _, w := range wants {
-				if w.contract.Messages == messages {
+				if w.contract.ForMessages == messages {
 					samples += float64(w.next[r]) * w.unit * seconds
 				}
 			}
 			for _, w := range order {
-				if w.contract.Messages != messages || samples >= st.cfg.Need && !st.Ignore.Explore {
+				if w.contract.ForMessages != messages || samples >= st.cfg.MinSamples && !st.DisabledGuards.ExploreLimit {
 					continue
 				}
 				if places[r].usable && w.allowed[r] && st.unmeasured(w, places[r].name, slot) && st.mayExplore(w, places, slot, r, part) {
@@ -50,16 +50,16 @@
 	}
 }
 
-func (st *Steer) unmeasured(w *want, region string, slot int64) bool {
+func (st *Controller) unmeasured(w *want, region string, slot int64) bool {
 	all, _, _ := st.pooled(region, w.contract, slot)
-	return all < st.cfg.Need
+	return all < st.cfg.MinSamples
 }
 
-func (st *Steer) mayExplore(w *want, places []place, slot int64, r, part int) bool {
+func (st *Controller) mayExplore(w *want, places []place, slot int64, r, part int) bool {
 	if part == 0 || !w.free || !w.due || w.moved > 0 || w.next[r] > 0 || slices.Max(w.next) < part {
 		return false
 	}
-	if st.Ignore.Explore {
+	if st.DisabledGuards.ExploreLimit {
 		return true
 	}
 	if !st.tracks[w.contract.Name].healthy() || w.why != "" || fit(min(places[r].fill, places[r].inflow), w.unit, part) < part {
--- a/internal/fleet/slo/histogram.go
+++ b/internal/fleet/slo/histogram.go
@@ -25,10 +25,10 @@
 
 // Hist is a histogram as it is told and kept: for each bucket that holds something, by
 // time, the distance in ms to the one before and the count, as varints.
-type Hist []byte
+type Histogram []byte
 
-func tell(p *hdr.PackedHistogram) Hist {
-	var h Hist
+func tell(p *hdr.PackedHistogram) Histogram {
+	var h Histogram
 	last := int64(0)
 	p.ForEachBucket(func(value, count int64) bool {
 		h = binary.AppendUvarint(binary.AppendUvarint(h, uint64(value-last)), uint64(min(count, math.MaxUint32)))
@@ -39,7 +39,7 @@
 }
 
 // each calls f with every bucket's time in ms and count, and returns false where h is none.
-func (h Hist) each(f func(ms, count int64)) bool {
+func (h Histogram) each(f func(ms, count int64)) bool {
 	ms := int64(0)
 	for first := true; len(h) > 0; first = false {
 		step, n := binary.Uvarint(h)
@@ -57,20 +57,20 @@
 }
 
 // sound tells whether a histogram from outside can be true.
-func (h Hist) sound() bool {
+func (h Histogram) sound() bool {
 	good := len(h) > 0 && len(h) <= mostBytes
 	return good && h.each(func(_, count int64) { good = good && count <= mostCount }) && good
 }
 
 // All is how many times are in it.
-func (h Hist) All() (all int64) {
+func (h Histogram) Count() (all int64) {
 	h.each(func(_, count int64) { all += count })
 	return all
 }
 
 // Over is how many of them are above a bound. The bucket in which the bound lies counts as
 // above it: a promise is never said to be kept that is not.
-func (h Hist) Over(bound time.Duration) (over int64) {
+func (h Histogram) CountAbove(bound time.Duration) (over int64) {
 	h.each(func(ms, count int64) {
 		if above(ms, int64(bound/time.Millisecond)) {
 			over += count
@@ -85,8 +85,8 @@
 
 // into adds the histogram, scaled to weigh no more than most; the sum of what is added is
 // exact, and a bucket's part off by less than one.
-func (h Hist) into(p *hdr.PackedHistogram, most int64) error {
-	all, sum, added := h.All(), int64(0), int64(0)
+func (h Histogram) into(p *hdr.PackedHistogram, most int64) error {
+	all, sum, added := h.Count(), int64(0), int64(0)
 	var err error
 	h.each(func(ms, count int64) {
 		sum += count
--- a/internal/fleet/slo/hour_test.go
+++ b/internal/fleet/slo/hour_test.go
@@ -12,32 +12,32 @@
 // contract that nobody can keep says so and stays.
 func TestHour(t *testing.T) {
 	w := newWorld(t, 1000, 12, 4, 0.4)
-	w.cfg.Part, w.cfg.Late, w.cfg.Parts = 10*time.Second, 10*time.Second, 3
-	w.st = NewSteer(w.cfg)
+	w.cfg.SampleInterval, w.cfg.LateSampleTimeout, w.cfg.EvidenceIntervals = 10*time.Second, 10*time.Second, 3
+	w.st = NewController(w.cfg)
 	w.regions[3].Capacity = 650
 	hopeless := &w.s.Contracts[500]
-	hopeless.Bound = 2 * time.Millisecond
+	hopeless.Objective = 2 * time.Millisecond
 	w.run(10 * time.Minute)
 	w.mean["r00"], w.mean["r07"] = 60, 60
 	w.run(10 * time.Minute)
-	w.regions[10].Usable = 0
+	w.regions[10].UsableFraction = 0
 	w.run(5 * time.Minute)
-	for _, a := range w.s.Steered {
+	for _, a := range w.s.Allocations {
 		if a.Shares["r10"] > 0 {
 			t.Fatalf("%s has %.3f of itself in a region that is left", a.Contract, a.Shares["r10"])
 		}
 	}
 	w.run(5 * time.Minute)
-	w.regions[10].Usable = 1
-	w.st = NewSteer(w.cfg) // a new leader that has seen nothing
-	w.run(w.cfg.Period)
+	w.regions[10].UsableFraction = 1
+	w.st = NewController(w.cfg) // a new leader that has seen nothing
+	w.run(w.cfg.MoveInterval)
 	calm := w.moved[30]
-	w.run(30*time.Minute - w.cfg.Period)
+	w.run(30*time.Minute - w.cfg.MoveInterval)
 	t.Logf("moved in the busiest of the last 20 minutes %.4f, of all; most load %.3f; kept %v of %v", w.restless(40), w.most, w.kept, w.windows)
 	if w.most > 1 || w.restless(40) >= 0.01 || calm > 0 {
 		t.Errorf("most load %.3f; %.4f moved a minute; %.1f by a leader that knew nothing", w.most, w.restless(40), calm)
 	}
-	if a, _ := w.s.Allocation(hopeless.Name); a.Unkept == "" {
+	if a, _ := w.s.Allocation(hopeless.Name); a.UnmetReason == "" {
 		t.Errorf("%s can't be kept and is not said to be: %+v", hopeless.Name, a)
 	}
 }
@@ -51,9 +51,9 @@
 	b.ResetTimer()
 	for i := range b.N {
 		for k := range seen {
-			seen[k].Slot = part + int64(i)
+			seen[k].Interval = part + int64(i)
 		}
-		w.st.Step(w.now+time.Duration(i)*w.cfg.Part, w.s, seen, w.regions, w.demand)
+		w.st.Evaluate(w.now+time.Duration(i)*w.cfg.SampleInterval, w.s, seen, w.regions, w.demand)
 	}
 }
 
@@ -70,30 +70,30 @@
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
 			w := newWorld(b, 1000, 12, 12, 0.4)
 			for i := range b.N {
-				f, st := NewFleet(w.cfg), NewSteer(w.cfg)
+				f, st := NewAggregator(w.cfg), NewController(w.cfg)
 				before := heap()
-				f.Know(w.s, w.regions)
+				f.SetContracts(w.s, w.regions)
 				for m := range members {
-					t := NewTally(w.cfg, fmt.Sprint("n", m), w.regions[m%12].Name, 1)
-					t.Know(w.s)
-					t.Turn(w.now)
-					for k := range 4 * w.cfg.Cells { // four times in each of as many pairs as may be told
+					t := NewRecorder(w.cfg, fmt.Sprint("n", m), w.regions[m%12].Name, 1)
+					t.SetContracts(w.s)
+					t.Rotate(w.now)
+					for k := range 4 * w.cfg.MaxMeasurements { // four times in each of as many pairs as may be told
 						k = k/4 + m*37
 						t.Record(w.now, w.s.Contracts[k%1000].Name, w.regions[k/1000%12].Name, time.Duration(5+k*7%60)*time.Millisecond)
 					}
-					if news, err := f.Merge(w.now, *t.Turn(w.now + w.cfg.Part)); !news || err != nil {
+					if news, err := f.Merge(w.now, *t.Rotate(w.now + w.cfg.SampleInterval)); !news || err != nil {
 						b.Fatal(news, err)
 					}
 				}
 				held := heap() - before
 				start := time.Now()
-				seen := f.Turn(w.now + 3*w.cfg.Part)
+				seen := f.CloseIntervals(w.now + 3*w.cfg.SampleInterval)
 				fold := time.Since(start)
-				for slot := range int64(w.cfg.Parts) {
+				for slot := range int64(w.cfg.EvidenceIntervals) {
 					for k := range seen {
-						seen[k].Slot += min(slot, 1)
+						seen[k].Interval += min(slot, 1)
 					}
-					st.Take(w.s, seen)
+					st.Observe(w.s, seen)
 				}
 				if i == 0 {
 					b.ReportMetric(held, "B/part")
@@ -112,10 +112,10 @@
 // A node that measures every pair there is.
 func BenchmarkTally(b *testing.B) {
 	w := newWorld(b, 1000, 12, 12, 0.4)
-	w.cfg.Cells = mostCells
-	t := NewTally(w.cfg, "n", "z", 1)
-	t.Know(w.s)
-	t.Turn(w.now)
+	w.cfg.MaxMeasurements = mostCells
+	t := NewRecorder(w.cfg, "n", "z", 1)
+	t.SetContracts(w.s)
+	t.Rotate(w.now)
 	before := heap()
 	i := 0
 	for ; i < 60000; i++ {
--- a/internal/fleet/slo/merge.go
+++ b/internal/fleet/slo/merge.go
@@ -13,13 +13,13 @@
 
 // Seen is what all members of a zone measured for a contract in a region in one part of
 // time that is over.
-type Seen struct {
-	From     string
-	Contract string
-	Region   string
-	Slot     int64
-	Members  int // of all zones, that measured it
-	Hist     Hist
+type Observation struct {
+	Zone      string
+	Contract  string
+	Region    string
+	Interval  int64
+	Members   int // of all zones, that measured it
+	Histogram Histogram
 }
 
 // clamp is how many times the median of all members' samples of a pair one counts at most,
@@ -30,7 +30,7 @@
 )
 
 // Fleet merges members' samples. It is not safe for concurrent use.
-type Fleet struct {
+type Aggregator struct {
 	cfg     Config
 	slots   map[int64]map[string]*Sample // by part and member
 	closed  int64                        // the last part that was handed out
@@ -39,13 +39,13 @@
 }
 
 // NewFleet returns a Fleet that has heard nobody.
-func NewFleet(cfg Config) *Fleet {
-	return &Fleet{cfg: cfg, slots: map[int64]map[string]*Sample{}, names: map[string]string{}}
+func NewAggregator(cfg Config) *Aggregator {
+	return &Aggregator{cfg: cfg, slots: map[int64]map[string]*Sample{}, names: map[string]string{}}
 }
 
 // Know takes the contracts and regions that count from now on: what else samples name is
 // left out.
-func (f *Fleet) Know(s State, regions []Region) {
+func (f *Aggregator) SetContracts(s State, regions []Region) {
 	clear(f.names)
 	for _, c := range s.Contracts {
 		f.names[c.Name] = c.Name
@@ -58,17 +58,17 @@
 // Merge takes a sample of a member that membership knows, in any order and as often as one
 // likes. The error tells what is wrong with a sample; news is false for one that came
 // before, too late or too early.
-func (f *Fleet) Merge(now time.Duration, s Sample) (news bool, err error) {
-	if err := s.sound(f.cfg.Cells); err != nil {
+func (f *Aggregator) Merge(now time.Duration, s Sample) (news bool, err error) {
+	if err := s.sound(f.cfg.MaxMeasurements); err != nil {
 		return false, err
 	}
-	if s.Slot <= f.closed || s.Slot <= f.cfg.slot(now-f.cfg.Late)-1 || s.Slot > f.cfg.slot(now+f.cfg.Late) {
+	if s.Interval <= f.closed || s.Interval <= f.cfg.slot(now-f.cfg.LateSampleTimeout)-1 || s.Interval > f.cfg.slot(now+f.cfg.LateSampleTimeout) {
 		return false, nil
 	}
-	members := f.slots[s.Slot]
+	members := f.slots[s.Interval]
 	if members == nil {
 		members = map[string]*Sample{}
-		f.slots[s.Slot] = members
+		f.slots[s.Interval] = members
 	}
 	old := members[s.Member]
 	if old != nil && !s.newer(old) {
@@ -77,22 +77,22 @@
 	if old == nil && len(members) >= mostMembers {
 		return false, fmt.Errorf("sample of member %q: %d members have told already", s.Member, len(members))
 	}
-	kept := make([]Cell, 0, len(s.Cells))
-	for _, c := range s.Cells {
+	kept := make([]Measurement, 0, len(s.Measurements))
+	for _, c := range s.Measurements {
 		name, ok := f.names[c.Contract]
-		if _, known := f.names[s.Regions[c.Region]]; ok && known {
-			kept = append(kept, Cell{name, c.Region, slices.Clip(c.Hist)})
+		if _, known := f.names[s.Regions[c.RegionIndex]]; ok && known {
+			kept = append(kept, Measurement{name, c.RegionIndex, slices.Clip(c.Histogram)})
 		}
 	}
-	s.Cells = kept
+	s.Measurements = kept
 	members[s.Member] = &s
 	return true, nil
 }
 
 // Turn hands out, once, what was seen in the parts for which no more samples are taken,
 // sorted by part, contract, region and zone.
-func (f *Fleet) Turn(now time.Duration) (seen []Seen) {
-	due := f.cfg.slot(now-f.cfg.Late) - 1
+func (f *Aggregator) CloseIntervals(now time.Duration) (seen []Observation) {
+	due := f.cfg.slot(now-f.cfg.LateSampleTimeout) - 1
 	if due <= f.closed {
 		return nil
 	}
@@ -106,19 +106,19 @@
 	return seen
 }
 
-func (f *Fleet) fold(slot int64) (seen []Seen) {
+func (f *Aggregator) fold(slot int64) (seen []Observation) {
 	members := f.slots[slot]
 	type told struct {
 		from string
-		hist Hist
+		hist Histogram
 	}
 	of := map[pair][]told{}
 	for _, name := range slices.Sorted(maps.Keys(members)) {
 		s := members[name]
 		f.Dropped += s.Dropped
-		for _, c := range s.Cells {
-			p := pair{c.Contract, s.Regions[c.Region]}
-			of[p] = append(of[p], told{s.From, c.Hist})
+		for _, c := range s.Measurements {
+			p := pair{c.Contract, s.Regions[c.RegionIndex]}
+			of[p] = append(of[p], told{s.Zone, c.Histogram})
 		}
 	}
 	pairs := slices.SortedFunc(maps.Keys(of), func(a, b pair) int {
@@ -127,7 +127,7 @@
 	for _, p := range pairs {
 		all := make([]int64, len(of[p]))
 		for i, t := range of[p] {
-			all[i] = t.hist.All()
+			all[i] = t.hist.Count()
 		}
 		slices.Sort(all)
 		most := clamp * all[(len(all)-1)/2]
@@ -140,7 +140,7 @@
 		}
 		for _, zone := range slices.Sorted(maps.Keys(from)) {
 			if h := tell(from[zone]); len(h) > 0 {
-				seen = append(seen, Seen{zone, p.contract, f.name(p.region), slot, len(all), h})
+				seen = append(seen, Observation{zone, p.contract, f.name(p.region), slot, len(all), h})
 			}
 		}
 	}
@@ -148,7 +148,7 @@
 }
 
 // name returns the one copy of a name, so that what is kept holds no sample's memory.
-func (f *Fleet) name(s string) string {
+func (f *Aggregator) name(s string) string {
 	if one, ok := f.names[s]; ok {
 		return one
 	}
@@ -156,10 +156,10 @@
 }
 
 // Cells is how many cells wait for their part's end.
-func (f *Fleet) Cells() (n int) {
+func (f *Aggregator) PendingMeasurements() (n int) {
 	for _, members := range f.slots {
 		for _, s := range members {
-			n += len(s.Cells)
+			n += len(s.Measurements)
 		}
 	}
 	return min(n, math.MaxInt32)
--- a/internal/fleet/slo/merge_test.go
+++ b/internal/fleet/slo/merge_test.go
@@ -13,25 +13,25 @@
 
 const begin = 1_000_000 * 5 * time.Second
 
-func fleetOf(names ...string) *Fleet {
-	f := NewFleet(Default())
+func fleetOf(names ...string) *Aggregator {
+	f := NewAggregator(DefaultConfig())
 	var s State
 	for _, n := range names {
 		s.Contracts = append(s.Contracts, Contract{Name: n})
 	}
-	f.Know(s, []Region{{Name: "a"}, {Name: "b"}})
+	f.SetContracts(s, []Region{{Name: "a"}, {Name: "b"}})
 	return f
 }
 
 // measured is a member's sample of n times in the part at begin.
 func measured(member string, boot int64, took time.Duration, n int) Sample {
-	t := NewTally(Default(), member, "z", boot)
-	t.Know(State{Contracts: []Contract{{Name: "k"}}})
-	t.Turn(begin)
+	t := NewRecorder(DefaultConfig(), member, "z", boot)
+	t.SetContracts(State{Contracts: []Contract{{Name: "k"}}})
+	t.Rotate(begin)
 	for range n {
 		t.Record(begin, "k", "a", took)
 	}
-	return *t.Turn(begin + 5*time.Second)
+	return *t.Rotate(begin + 5*time.Second)
 }
 
 // Merging is the same in any order, and as often as one likes.
@@ -51,11 +51,11 @@
 		for _, s := range rapid.Permutation(append(slices.Clone(samples), samples...)).Draw(t, "order") {
 			other.Merge(begin, s)
 		}
-		a, b := one.Turn(begin+15*time.Second), other.Turn(begin+15*time.Second)
+		a, b := one.CloseIntervals(begin+15*time.Second), other.CloseIntervals(begin+15*time.Second)
 		if len(a) == 0 || !reflect.DeepEqual(a, b) {
 			t.Fatalf("%v and %v", a, b)
 		}
-		if one.Turn(begin+20*time.Second) != nil {
+		if one.CloseIntervals(begin+20*time.Second) != nil {
 			t.Fatal("handed out twice")
 		}
 		if news, _ := one.Merge(begin+15*time.Second, samples[0]); news {
@@ -75,17 +75,17 @@
 	if news, err := f.Merge(begin, liar); !news || err != nil {
 		t.Fatal(news, err)
 	}
-	seen := f.Turn(begin + 15*time.Second)
-	if len(seen) != 1 || seen[0].Members != 5 || seen[0].Hist.All() != 70 || seen[0].Hist.Over(50*time.Millisecond) != 30 {
+	seen := f.CloseIntervals(begin + 15*time.Second)
+	if len(seen) != 1 || seen[0].Members != 5 || seen[0].Histogram.Count() != 70 || seen[0].Histogram.CountAbove(50*time.Millisecond) != 30 {
 		t.Errorf("%+v", seen)
 	}
 	for want, f := range map[string]func(*Sample){
-		"region 3":       func(s *Sample) { s.Cells = []Cell{{"k", 3, liar.Cells[0].Hist}} },
-		"no histogram":   func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{10, 0}}} },
-		"or a second":    func(s *Sample) { s.Cells = []Cell{s.Cells[0], s.Cells[0]} },
-		"cells, at most": func(s *Sample) { s.Cells = slices.Repeat(s.Cells, 1025) },
-		"no histogram, ": func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{10, 0xff, 0xff, 0xff, 0x7f}}} }, // absurd
-		"contract \"k\"": func(s *Sample) { s.Cells = []Cell{{"k", 0, Hist{0xff, 0xff, 0xff, 1, 1}}} },     // past the longest
+		"region 3":       func(s *Sample) { s.Measurements = []Measurement{{"k", 3, liar.Measurements[0].Histogram}} },
+		"no histogram":   func(s *Sample) { s.Measurements = []Measurement{{"k", 0, Histogram{10, 0}}} },
+		"or a second":    func(s *Sample) { s.Measurements = []Measurement{s.Measurements[0], s.Measurements[0]} },
+		"cells, at most": func(s *Sample) { s.Measurements = slices.Repeat(s.Measurements, 1025) },
+		"no histogram, ": func(s *Sample) { s.Measurements = []Measurement{{"k", 0, Histogram{10, 0xff, 0xff, 0xff, 0x7f}}} }, // absurd
+		"contract \"k\"": func(s *Sample) { s.Measurements = []Measurement{{"k", 0, Histogram{0xff, 0xff, 0xff, 1, 1}}} },     // past the longest
 	} {
 		bad := measured("n9", 1, time.Second, 1)
 		f(&bad)
@@ -97,11 +97,11 @@
 
 // What there is no room for is the least used of the least priority.
 func TestDroppedFirst(t *testing.T) {
-	cfg := Default()
-	cfg.Cells = 3
-	tally := NewTally(cfg, "n", "z", 1)
-	tally.Know(State{Contracts: []Contract{{Name: "high"}, {Name: "low", Priority: 9}}})
-	tally.Turn(begin)
+	cfg := DefaultConfig()
+	cfg.MaxMeasurements = 3
+	tally := NewRecorder(cfg, "n", "z", 1)
+	tally.SetContracts(State{Contracts: []Contract{{Name: "high"}, {Name: "low", Priority: 9}}})
+	tally.Rotate(begin)
 	for region, n := range map[string]int{"a": 2, "b": 5} {
 		for range n {
 			tally.Record(begin, "low", region, time.Millisecond)
@@ -109,10 +109,10 @@
 			tally.Record(begin, "unknown", region, time.Millisecond)
 		}
 	}
-	s := tally.Turn(begin + cfg.Part)
+	s := tally.Rotate(begin + cfg.SampleInterval)
 	var got []string
-	for _, c := range s.Cells {
-		got = append(got, c.Contract+s.Regions[c.Region])
+	for _, c := range s.Measurements {
+		got = append(got, c.Contract+s.Regions[c.RegionIndex])
 	}
 	if want := []string{"highb", "higha", "lowb"}; !slices.Equal(got, want) || s.Dropped != 1 {
 		t.Errorf("%v, %d dropped", got, s.Dropped)
@@ -123,10 +123,10 @@
 func TestOver(t *testing.T) {
 	for _, ms := range []int{1, 20, 31, 32, 33, 47, 63, 64, 100, 1000} {
 		bound := time.Duration(ms) * time.Millisecond
-		if over := measured("n", 1, bound+time.Microsecond, 3).Cells[0].Hist.Over(bound); over != 3 {
+		if over := measured("n", 1, bound+time.Microsecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 3 {
 			t.Errorf("just over %v: %d of 3 are over", bound, over)
 		}
-		if over := measured("n", 1, bound*15/16-time.Millisecond, 3).Cells[0].Hist.Over(bound); over != 0 {
+		if over := measured("n", 1, bound*15/16-time.Millisecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 0 {
 			t.Errorf("a sixteenth and 1 ms under %v: %d of 3 are over", bound, over)
 		}
 	}
--- a/internal/fleet/slo/move.go
+++ b/internal/fleet/slo/move.go
@@ -8,12 +8,12 @@
 
 // move takes a part of a contract out of regions that break its promise: no more than a
 // step, and into each region no more than it takes in a period, up to where it is full.
-func (st *Steer) move(w *want, places []place) {
-	if st.Ignore.Greedy {
+func (st *Controller) move(w *want, places []place) {
+	if st.DisabledGuards.GradualMoves {
 		st.rush(w, places)
 		return
 	}
-	if !w.free || !w.due || !w.burning && !st.Ignore.Hysteresis {
+	if !w.free || !w.due || !w.burning && !st.DisabledGuards.Hysteresis {
 		return
 	}
 	var from, to []int
@@ -32,12 +32,12 @@
 	if len(from) == 0 {
 		return
 	}
-	step := int(st.cfg.Step * mille)
+	step := int(st.cfg.MaxMoveFraction * mille)
 	left := step
 	for _, f := range from {
 		for _, r := range to {
 			k := min(left, w.next[f])
-			if !st.Ignore.Limits {
+			if !st.DisabledGuards.CapacityLimits {
 				k = fit(min(places[r].fill, places[r].inflow), w.unit, k)
 			}
 			left -= k
@@ -56,7 +56,7 @@
 	case w.kept(places):
 		w.why = "limit: its regions keep it by less than the margin"
 	default:
-		w.why = fmt.Sprintf("bound: none of %s keeps %v within %v", names(places, w.by(places)), w.contract.Quantile, w.contract.Bound)
+		w.why = fmt.Sprintf("bound: none of %s keeps %v within %v", names(places, w.by(places)), w.contract.Quantile, w.contract.Objective)
 	}
 }
 
@@ -66,7 +66,7 @@
 }
 
 // rush is what a greedy controller does: all there is goes to the best region.
-func (st *Steer) rush(w *want, places []place) {
+func (st *Controller) rush(w *want, places []place) {
 	list := w.by(places)
 	if !w.free || !w.due || len(list) == 0 {
 		return
--- a/internal/fleet/slo/state.go
+++ b/internal/fleet/slo/state.go
@@ -11,20 +11,20 @@
 
 // State is the contracts and where their transactions go. It is never changed in place.
 type State struct {
-	Version   uint64       `json:"version"`             // counts changes of contracts
-	Steps     uint64       `json:"steps,omitempty"`     // counts changes of allocations
-	Contracts []Contract   `json:"contracts,omitempty"` // by name
-	Steered   []Allocation `json:"steered,omitempty"`   // by contract; who is not named goes where the routes say
+	Version           uint64       `json:"version"`             // counts changes of contracts
+	AllocationVersion uint64       `json:"steps,omitempty"`     // counts changes of allocations
+	Contracts         []Contract   `json:"contracts,omitempty"` // by name
+	Allocations       []Allocation `json:"steered,omitempty"`   // by contract; who is not named goes where the routes say
 }
 
 // Change is an entry of the record: contracts set and dropped, which the holder's authority
 // signs, or allocations, which are the fleet's own decision. It does not hold both.
 type Change struct {
-	Base  uint64       `json:"base"`            // the State's Version that it was made on
-	After uint64       `json:"after,omitempty"` // for Steer, its Steps too
-	Set   []Contract   `json:"set,omitempty"`
-	Drop  []string     `json:"drop,omitempty"`
-	Steer []Allocation `json:"steer,omitempty"` // Since and Before are set when it is taken
+	BaseVersion           uint64       `json:"base"`            // the State's Version that it was made on
+	BaseAllocationVersion uint64       `json:"after,omitempty"` // for Steer, its Steps too
+	Set                   []Contract   `json:"set,omitempty"`
+	Drop                  []string     `json:"drop,omitempty"`
+	Allocations           []Allocation `json:"steer,omitempty"` // Since and Before are set when it is taken
 }
 
 // spell is the time within which a contract is steered twice at most, in ms.
@@ -45,11 +45,11 @@
 	if !ok {
 		return Allocation{}, false
 	}
-	return s.Steered[i], true
+	return s.Allocations[i], true
 }
 
 func (s State) steered(name string) (int, bool) {
-	return slices.BinarySearchFunc(s.Steered, name, func(a Allocation, n string) int { return cmp.Compare(a.Contract, n) })
+	return slices.BinarySearchFunc(s.Allocations, name, func(a Allocation, n string) int { return cmp.Compare(a.Contract, n) })
 }
 
 // Apply returns the state after a change made at a time (Unix ms), or why it is not taken;
@@ -57,15 +57,15 @@
 func (s State) Apply(c Change, at int64, may func(holder string) error) (State, error) {
 	authored := len(c.Set) + len(c.Drop)
 	switch {
-	case c.Base != s.Version:
-		return s, fmt.Errorf("made on version %d of the contracts, which are at %d", c.Base, s.Version)
-	case authored == 0 && len(c.Steer) == 0:
+	case c.BaseVersion != s.Version:
+		return s, fmt.Errorf("made on version %d of the contracts, which are at %d", c.BaseVersion, s.Version)
+	case authored == 0 && len(c.Allocations) == 0:
 		return s, errors.New("changes nothing")
-	case authored > 0 && len(c.Steer) > 0:
+	case authored > 0 && len(c.Allocations) > 0:
 		return s, errors.New("sets contracts and steers them: one entry does one of both")
 	case at <= 0 || at > 1<<52:
 		return s, fmt.Errorf("at %d: no time", at)
-	case len(c.Steer) > 0:
+	case len(c.Allocations) > 0:
 		return s.steer(c, at)
 	}
 	return s.author(c, may)
@@ -110,14 +110,14 @@
 	if len(of) > mostContracts {
 		return s, fmt.Errorf("%d contracts, at most %d", len(of), mostContracts)
 	}
-	next := State{Version: s.Version + 1, Steps: s.Steps}
+	next := State{Version: s.Version + 1, AllocationVersion: s.AllocationVersion}
 	for _, name := range slices.Sorted(maps.Keys(of)) {
 		next.Contracts = append(next.Contracts, of[name])
 	}
 	// What was decided stands, unless its contract no longer allows it.
-	for _, a := range s.Steered {
+	for _, a := range s.Allocations {
 		if k, ok := of[a.Contract]; ok && k.allows(a.Shares) == nil {
-			next.Steered = append(next.Steered, a)
+			next.Allocations = append(next.Allocations, a)
 		}
 	}
 	return next, nil
@@ -142,14 +142,14 @@
 }
 
 func (s State) steer(c Change, at int64) (State, error) {
-	if c.After != s.Steps {
-		return s, fmt.Errorf("decided after step %d, and %d have been taken", c.After, s.Steps)
+	if c.BaseAllocationVersion != s.AllocationVersion {
+		return s, fmt.Errorf("decided after step %d, and %d have been taken", c.BaseAllocationVersion, s.AllocationVersion)
 	}
 	next := s
-	next.Steps++
-	next.Steered = slices.Clone(s.Steered)
+	next.AllocationVersion++
+	next.Allocations = slices.Clone(s.Allocations)
 	named := map[string]bool{}
-	for _, a := range c.Steer {
+	for _, a := range c.Allocations {
 		k, ok := s.Contract(a.Contract)
 		if !ok {
 			return s, fmt.Errorf("contract %.64q: there is none", a.Contract)
@@ -163,18 +163,18 @@
 		}
 		i, ok := next.steered(a.Contract)
 		if ok {
-			old := next.Steered[i]
+			old := next.Allocations[i]
 			// A clock behind the last proposer's gains nothing.
-			now := max(at, old.Since)
-			if old.Before > 0 && now < old.Before+spell {
+			now := max(at, old.SteeredAt)
+			if old.PreviouslySteeredAt > 0 && now < old.PreviouslySteeredAt+spell {
 				return s, fmt.Errorf("contract %q: steered twice within %d s", a.Contract, spell/1000)
 			}
-			a.Since, a.Before = now, old.Since
-			next.Steered[i] = a
+			a.SteeredAt, a.PreviouslySteeredAt = now, old.SteeredAt
+			next.Allocations[i] = a
 			continue
 		}
-		a.Since, a.Before = at, 0
-		next.Steered = slices.Insert(next.Steered, i, a)
+		a.SteeredAt, a.PreviouslySteeredAt = at, 0
+		next.Allocations = slices.Insert(next.Allocations, i, a)
 	}
 	return next, nil
 }
@@ -197,10 +197,10 @@
 	if sum != mille {
 		return fmt.Errorf("contract %q: shares add up to %d thousandths", c.Name, sum)
 	}
-	over, ok := round(a.Over)
-	if !ok || len(a.Unkept) > 256 {
+	over, ok := round(a.Overflow)
+	if !ok || len(a.UnmetReason) > 256 {
 		return fmt.Errorf("contract %q: over is 0 to 1, a reason at most 256 bytes", c.Name)
 	}
-	a.Shares, a.Over = shares, float64(over)/mille
+	a.Shares, a.Overflow = shares, float64(over)/mille
 	return c.allows(shares)
 }
--- a/internal/fleet/slo/state_test.go
+++ b/internal/fleet/slo/state_test.go
@@ -12,7 +12,7 @@
 )
 
 func contract(name string) Contract {
-	return Contract{Name: name, Holder: "acme", Quantile: 0.95, Bound: 50 * time.Millisecond, Window: time.Minute, Share: 0.99, Zones: []string{"a", "b"}}
+	return Contract{Name: name, Holder: "acme", Quantile: 0.95, Objective: 50 * time.Millisecond, Window: time.Minute, Target: 0.99, Zones: []string{"a", "b"}}
 }
 
 func may(holder string) error {
@@ -26,12 +26,12 @@
 	with := func(f func(*Contract)) Change {
 		c := contract("x")
 		f(&c)
-		return Change{Base: 1, Set: []Contract{c}}
+		return Change{BaseVersion: 1, Set: []Contract{c}}
 	}
 	steer := func(f func(*Allocation)) Change {
 		a := Allocation{Contract: "k", Shares: map[string]float64{"a": 0.25, "b": 0.75}}
 		f(&a)
-		return Change{Base: 1, Steer: []Allocation{a}}
+		return Change{BaseVersion: 1, Allocations: []Allocation{a}}
 	}
 	s, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, may)
 	if err != nil {
@@ -42,18 +42,18 @@
 		c         Change
 	}{
 		{"another one", "", with(func(*Contract) {})},
-		{"decided on another state", "version 7", Change{Base: 7, Drop: []string{"k"}}},
-		{"nothing", "changes nothing", Change{Base: 1}},
-		{"both", "one of both", Change{Base: 1, Drop: []string{"k"}, Steer: []Allocation{{}}}},
+		{"decided on another state", "version 7", Change{BaseVersion: 7, Drop: []string{"k"}}},
+		{"nothing", "changes nothing", Change{BaseVersion: 1}},
+		{"both", "one of both", Change{BaseVersion: 1, Drop: []string{"k"}, Allocations: []Allocation{{}}}},
 		{"somebody else's", "not yours", with(func(c *Contract) { c.Holder = "other" })},
-		{"no such", "there is none", Change{Base: 1, Drop: []string{"x"}}},
-		{"no exception", "share", with(func(c *Contract) { c.Share = 1 })},
-		{"never", "bound", with(func(c *Contract) { c.Bound = 0 })},
+		{"no such", "there is none", Change{BaseVersion: 1, Drop: []string{"x"}}},
+		{"no exception", "share", with(func(c *Contract) { c.Target = 1 })},
+		{"never", "bound", with(func(c *Contract) { c.Objective = 0 })},
 		{"zones twice", "zones", with(func(c *Contract) { c.Zones = []string{"a", "a"} })},
-		{"dropped", "", Change{Base: 1, Drop: []string{"k"}}},
+		{"dropped", "", Change{BaseVersion: 1, Drop: []string{"k"}}},
 		{"steered", "", steer(func(*Allocation) {})},
 		{"steered by halves of thousandths", "", steer(func(a *Allocation) { a.Shares = map[string]float64{"a": 0.2503, "b": 0.7497} })},
-		{"steered after another step", "step 3", func() Change { c := steer(func(*Allocation) {}); c.After = 3; return c }()},
+		{"steered after another step", "step 3", func() Change { c := steer(func(*Allocation) {}); c.BaseAllocationVersion = 3; return c }()},
 		{"too little", "add up", steer(func(a *Allocation) { a.Shares["a"] = 0.2 })},
 		{"below nothing", "a share is", steer(func(a *Allocation) { a.Shares["a"], a.Shares["b"] = -0.5, 1.5 })},
 		{"a zone that it may not use", `zone "c"`, steer(func(a *Allocation) { a.Shares = map[string]float64{"c": 1} })},
@@ -77,12 +77,12 @@
 		var taken []int64
 		for at := int64(100_000); len(taken) < 6; {
 			at += int64(rapid.IntRange(-20_000, 60_000).Draw(t, "later"))
-			next, err := s.Apply(Change{Base: 1, After: s.Steps, Steer: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), may)
+			next, err := s.Apply(Change{BaseVersion: 1, BaseAllocationVersion: s.AllocationVersion, Allocations: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), may)
 			if err != nil {
 				continue
 			}
 			s = next
-			if taken = append(taken, s.Steered[0].Since); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < spell {
+			if taken = append(taken, s.Allocations[0].SteeredAt); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < spell {
 				t.Fatalf("steered at %v", taken)
 			}
 		}
@@ -90,7 +90,7 @@
 }
 
 func TestVerdict(t *testing.T) {
-	cfg := Default()
+	cfg := DefaultConfig()
 	for _, tt := range []struct {
 		all, over, quantile float64
 		members             int
--- a/internal/fleet/slo/steer.go
+++ b/internal/fleet/slo/steer.go
@@ -10,29 +10,29 @@
 
 // Region is what is known of a region, or a zone, by the name that shares use.
 type Region struct {
-	Name     string
-	Usable   float64 // the part of it that postures leave, 0 to 1
-	Capacity float64 // set-ups a second that it bears, were all of it usable
-	Other    float64 // set-ups a second that it serves under no contract
-	Load     float64 // reported, over what it bears; negative where unknown
+	Name           string
+	UsableFraction float64 // the part of it that postures leave, 0 to 1
+	Capacity       float64 // set-ups a second that it bears, were all of it usable
+	OtherTraffic   float64 // set-ups a second that it serves under no contract
+	Load           float64 // reported, over what it bears; negative where unknown
 }
 
 // Steer judges what was seen and decides where contracts go. It is not safe for concurrent
 // use.
-type Steer struct {
-	cfg     Config
-	version uint64
-	taken   int64         // the last part that was taken
-	period  time.Duration // when the last moves were proposed
-	tracks  map[string]*track
-	pools   map[kind][]pool
-	cache   map[bound]count
-	Ignore  Guards
+type Controller struct {
+	cfg            Config
+	version        uint64
+	taken          int64         // the last part that was taken
+	period         time.Duration // when the last moves were proposed
+	tracks         map[string]*track
+	pools          map[kind][]pool
+	cache          map[bound]count
+	DisabledGuards Guards
 }
 
 // NewSteer returns one that has seen nothing: it goes on from the record's State.
-func NewSteer(cfg Config) *Steer {
-	return &Steer{cfg: cfg, pools: map[kind][]pool{}, cache: map[bound]count{}}
+func NewController(cfg Config) *Controller {
+	return &Controller{cfg: cfg, pools: map[kind][]pool{}, cache: map[bound]count{}}
 }
 
 // mostSteers is how long what one entry steers may be, in bytes of JSON and reckoned
@@ -40,7 +40,7 @@
 const mostSteers = 200_000
 
 func (a *Allocation) size() int {
-	n := 120 + len(a.Contract) + len(a.Unkept)
+	n := 120 + len(a.Contract) + len(a.UnmetReason)
 	for zone := range a.Shares {
 		n += len(zone) + 10
 	}
@@ -51,14 +51,14 @@
 // is one, and why in words. now is Unix time, demand is set-ups a second by contract. Only
 // the leader proposes it; what it says is decided by the record's State and the evidence
 // alone, so that a new leader goes on where the last one was.
-func (st *Steer) Step(now time.Duration, s State, seen []Seen, regions []Region, demand map[string]float64) (c Change, why string, ok bool) {
-	st.Take(s, seen)
+func (st *Controller) Evaluate(now time.Duration, s State, seen []Observation, regions []Region, demand map[string]float64) (c Change, why string, ok bool) {
+	st.Observe(s, seen)
 	clear(st.cache)
 	slot := st.cfg.slot(now)
 	if st.period == 0 || st.period > now { // the last leader may have moved some just now
 		st.period = now
 	}
-	open := now-st.period >= st.cfg.Period
+	open := now-st.period >= st.cfg.MoveInterval
 	places := st.places(regions)
 	wants := make([]*want, 0, len(s.Contracts))
 	for i := range s.Contracts {
@@ -69,7 +69,7 @@
 	st.allocate(wants, places)
 	st.explore(wants, places, slot)
 
-	c = Change{Base: s.Version, After: s.Steps}
+	c = Change{BaseVersion: s.Version, BaseAllocationVersion: s.AllocationVersion}
 	moved, explored, unkept, size := 0, 0, 0, 0
 	slices.SortStableFunc(wants, func(a, b *want) int { return cmp.Compare(a.contract.Priority, b.contract.Priority) })
 	for _, w := range wants {
@@ -80,7 +80,7 @@
 		if size += a.size(); size > mostSteers {
 			break
 		}
-		c.Steer = append(c.Steer, a)
+		c.Allocations = append(c.Allocations, a)
 		if w.moved > 0 && w.due {
 			st.period = now
 		}
@@ -89,11 +89,11 @@
 		} else if w.moved > 0 {
 			moved++
 		}
-		if a.Unkept != "" {
+		if a.UnmetReason != "" {
 			unkept++
 		}
 	}
-	if len(c.Steer) == 0 {
+	if len(c.Allocations) == 0 {
 		return Change{}, "", false
 	}
 	return c, fmt.Sprintf("%d contracts moved, %d explore, %d of these can't be kept", moved, explored, unkept), true
@@ -107,16 +107,16 @@
 }
 
 // places returns the regions by name, empty but for what is served under no contract.
-func (st *Steer) places(regions []Region) []place {
+func (st *Controller) places(regions []Region) []place {
 	of := map[string]place{}
 	for _, r := range regions {
 		if len(of) >= mostZones || !word(r.Name, 64) {
 			continue
 		}
-		usable := min(positive(r.Usable), 1)
+		usable := min(positive(r.UsableFraction), 1)
 		p := place{name: r.Name, usable: usable > 0, all: positive(r.Capacity) * usable}
-		p.room = p.all - positive(r.Other)
-		p.fill, p.inflow = p.all*st.cfg.Fill-positive(r.Other), p.all*st.cfg.Inflow
+		p.room = p.all - positive(r.OtherTraffic)
+		p.fill, p.inflow = p.all*st.cfg.MaxUtilization-positive(r.OtherTraffic), p.all*st.cfg.MaxInflowFraction
 		if r.Load > 1 { // its figure is too great, or others fill it
 			p.fill, p.inflow = 0, 0
 		}
@@ -126,7 +126,7 @@
 }
 
 // want says what a contract has and what it sees.
-func (st *Steer) want(now time.Duration, slot int64, s State, c *Contract, places []place, demand map[string]float64) *want {
+func (st *Controller) want(now time.Duration, slot int64, s State, c *Contract, places []place, demand map[string]float64) *want {
 	t := st.tracks[c.Name]
 	t.turn(&st.cfg, max(slot-st.lag(), 0))
 	w := &want{contract: c, unit: positive(demand[c.Name]) / mille, free: true, due: true, burning: t.burning(),
@@ -147,16 +147,16 @@
 		return w
 	}
 	ms := now.Milliseconds()
-	w.lastUnkept = a.Unkept
-	w.free = a.Before == 0 || ms >= a.Before+spell
-	w.due = ms >= a.Since+st.cfg.Period.Milliseconds()
+	w.lastUnkept = a.UnmetReason
+	w.free = a.PreviouslySteeredAt == 0 || ms >= a.PreviouslySteeredAt+spell
+	w.due = ms >= a.SteeredAt+st.cfg.MoveInterval.Milliseconds()
 	return w
 }
 
 // drawn are the weights by which a contract that was never steered is spread: as it was
 // measured or, where that is too little, by what the regions bear, as the module draws
 // evenly among the servers that it may use.
-func (st *Steer) drawn(t *track, slot int64, places []place, bears []float64) []float64 {
+func (st *Controller) drawn(t *track, slot int64, places []place, bears []float64) []float64 {
 	measured, sum := make([]float64, len(places)), 0.0
 	for r, p := range places {
 		if bears[r] > 0 {
@@ -164,14 +164,14 @@
 			sum += measured[r]
 		}
 	}
-	if sum < st.cfg.Need {
+	if sum < st.cfg.MinSamples {
 		return bears
 	}
 	return measured
 }
 
 // ripe tells whether a region has broken a promise for longer than the patience.
-func (st *Steer) ripe(now time.Duration, t *track, region string, v verdict) bool {
+func (st *Controller) ripe(now time.Duration, t *track, region string, v verdict) bool {
 	if v != breaks {
 		delete(t.broken, region)
 		return false
@@ -184,7 +184,7 @@
 		since = now
 		t.broken[region] = now
 	}
-	return now-since >= st.cfg.Patience || st.Ignore.Hysteresis
+	return now-since >= st.cfg.MinBreachInterval || st.DisabledGuards.Hysteresis
 }
 
 const (
@@ -193,7 +193,7 @@
 )
 
 // outcome is what the record is to hold of a contract, and whether that is news.
-func (st *Steer) outcome(now time.Duration, s State, w *want, places []place) (Allocation, bool) {
+func (st *Controller) outcome(now time.Duration, s State, w *want, places []place) (Allocation, bool) {
 	t := st.tracks[w.contract.Name]
 	old, _ := s.Allocation(w.contract.Name)
 	over, moved, shares := 0, 0, make(map[string]float64, len(places))
@@ -204,9 +204,9 @@
 			shares[p.name] = float64(k) / mille
 		}
 	}
-	a := Allocation{Contract: w.contract.Name, Shares: shares, Over: float64(over) / mille, Unkept: st.unkept(now, t, w)}
-	was, _ := round(old.Over)
-	news := moved >= leastMove || (a.Unkept == "") != (old.Unkept == "") || max(over-was, was-over) >= leastOver || over == 0 && was > 0
+	a := Allocation{Contract: w.contract.Name, Shares: shares, Overflow: float64(over) / mille, UnmetReason: st.unkept(now, t, w)}
+	was, _ := round(old.Overflow)
+	news := moved >= leastMove || (a.UnmetReason == "") != (old.UnmetReason == "") || max(over-was, was-over) >= leastOver || over == 0 && was > 0
 	sum := 0
 	for r := range places {
 		sum += w.next[r] + w.over[r]
@@ -216,7 +216,7 @@
 
 // unkept says why a contract can't be kept: what is so for longer than the patience. It
 // is taken back when its budget is no longer spent.
-func (st *Steer) unkept(now time.Duration, t *track, w *want) string {
+func (st *Controller) unkept(now time.Duration, t *track, w *want) string {
 	if w.why == "" && !w.due { // not asked to move, so nothing is known of it
 		return w.lastUnkept
 	}
@@ -230,7 +230,7 @@
 	if t.stuck == 0 {
 		t.stuck = now
 	}
-	if w.lastUnkept == "" && now-t.stuck < st.cfg.Patience {
+	if w.lastUnkept == "" && now-t.stuck < st.cfg.MinBreachInterval {
 		return ""
 	}
 	return w.why
--- a/internal/fleet/slo/types.go
+++ b/internal/fleet/slo/types.go
@@ -14,25 +14,25 @@
 
 // Contract promises an account or a route its response times.
 type Contract struct {
-	Name     string        `json:"name"`
-	Holder   string        `json:"holder"`   // path of an account or team, or of a route
-	Quantile float64       `json:"quantile"` // such as 0.95
-	Bound    time.Duration `json:"bound"`    // of set-ups, or of messages
-	Messages bool          `json:"messages,omitempty"`
-	Window   time.Duration `json:"window"`
-	Share    float64       `json:"share"`    // of windows in which the bound must hold
-	Priority int           `json:"priority"` // the lower goes first
-	Zones    []string      `json:"zones,omitempty"`
+	Name        string        `json:"name"`
+	Holder      string        `json:"holder"`   // path of an account or team, or of a route
+	Quantile    float64       `json:"quantile"` // such as 0.95
+	Objective   time.Duration `json:"bound"`    // of set-ups, or of messages
+	ForMessages bool          `json:"messages,omitempty"`
+	Window      time.Duration `json:"window"`
+	Target      float64       `json:"share"`    // of windows in which the bound must hold
+	Priority    int           `json:"priority"` // the lower goes first
+	Zones       []string      `json:"zones,omitempty"`
 }
 
 // Allocation is where a contract's transactions go: shares of zones that add up to 1.
 type Allocation struct {
-	Contract string             `json:"contract"`
-	Shares   map[string]float64 `json:"shares"`           // in whole thousandths
-	Since    int64              `json:"since"`            // Unix ms
-	Before   int64              `json:"before,omitempty"` // Unix ms: when it was steered the time before
-	Over     float64            `json:"over,omitempty"`   // of its set-ups, those that its regions have no room for
-	Unkept   string             `json:"unkept,omitempty"` // why it can't be kept; empty where it can
+	Contract            string             `json:"contract"`
+	Shares              map[string]float64 `json:"shares"`           // in whole thousandths
+	SteeredAt           int64              `json:"since"`            // Unix ms
+	PreviouslySteeredAt int64              `json:"before,omitempty"` // Unix ms: when it was steered the time before
+	Overflow            float64            `json:"over,omitempty"`   // of its set-ups, those that its regions have no room for
+	UnmetReason         string             `json:"unkept,omitempty"` // why it can't be kept; empty where it can
 }
 
 const (
@@ -54,11 +54,11 @@
 		bad = "holder: 1 to 256 bytes"
 	case !between(c.Quantile, 0.5, 0.9999):
 		bad = "quantile: 0.5 to 0.9999"
-	case c.Bound < time.Millisecond || c.Bound > longest || c.Bound%time.Millisecond != 0:
+	case c.Objective < time.Millisecond || c.Objective > longest || c.Objective%time.Millisecond != 0:
 		bad = fmt.Sprint("bound: whole milliseconds up to ", longest)
 	case c.Window < 5*time.Second || c.Window > 10*time.Minute:
 		bad = "window: 5s to 10m"
-	case !between(c.Share, 0.5, 0.9999):
+	case !between(c.Target, 0.5, 0.9999):
 		bad = "share: 0.5 to 0.9999, as a promise without an exception is broken by the first"
 	case c.Priority < 0 || c.Priority > 1000:
 		bad = "priority: 0 to 1000"
--- a/internal/fleet/slo/verdict.go
+++ b/internal/fleet/slo/verdict.go
@@ -29,7 +29,7 @@
 
 // judge tells what a sample says of the promise that quantile of all is within the bound.
 func judge(c *Config, g Guards, all, over, quantile float64, members int) verdict {
-	z := c.Z
+	z := c.ZScore
 	if g.Confidence {
 		z, members = 0, leastMembers
 	}
@@ -55,21 +55,21 @@
 
 // look judges a region for a contract by the contract's own samples or, where these are no
 // verdict, by those of all contracts there: the same feed servers serve them.
-func (st *Steer) look(t *track, region string, slot int64) view {
+func (st *Controller) look(t *track, region string, slot int64) view {
 	c, k := &st.cfg, &t.contract
-	tight := 1 - (1-k.Quantile)*(1-c.Margin)
-	if st.Ignore.Hysteresis {
+	tight := 1 - (1-k.Quantile)*(1-c.BudgetMargin)
+	if st.DisabledGuards.Hysteresis {
 		tight = k.Quantile
 	}
 	all, over, members := t.regions[region].sum(st.since(slot))
 	pooled, missed, others := st.pooled(region, k, slot)
-	if judge(c, st.Ignore, all, over, k.Quantile, members) == unknown && !(st.Ignore.Confidence && all > 0) {
+	if judge(c, st.DisabledGuards, all, over, k.Quantile, members) == unknown && !(st.DisabledGuards.Confidence && all > 0) {
 		all, over, members = pooled, missed, others
 	}
-	v := view{verdict: judge(c, st.Ignore, all, over, k.Quantile, members)}
+	v := view{verdict: judge(c, st.DisabledGuards, all, over, k.Quantile, members)}
 	if all > 0 {
 		v.score = 1 - over/all
 	}
-	v.roomy = v.verdict == keeps && judge(c, st.Ignore, all, over, tight, members) == keeps
+	v.roomy = v.verdict == keeps && judge(c, st.DisabledGuards, all, over, tight, members) == keeps
 	return v
 }
--- a/internal/fleet/slo/window.go
+++ b/internal/fleet/slo/window.go
@@ -37,15 +37,17 @@
 }
 
 // since is the first part that is evidence at a slot.
-func (st *Steer) since(slot int64) int64 {
-	if st.Ignore.Stale {
+func (st *Controller) since(slot int64) int64 {
+	if st.DisabledGuards.EvidenceExpiry {
 		return 0
 	}
-	return slot - st.lag() - int64(st.cfg.Parts) + 1
+	return slot - st.lag() - int64(st.cfg.EvidenceIntervals) + 1
 }
 
 // lag is how many parts are over and not yet merged.
-func (st *Steer) lag() int64 { return 1 + int64((st.cfg.Late+st.cfg.Part-1)/st.cfg.Part) }
+func (st *Controller) lag() int64 {
+	return 1 + int64((st.cfg.LateSampleTimeout+st.cfg.SampleInterval-1)/st.cfg.SampleInterval)
+}
 
 // kind is what all contracts of a region measure alike.
 type kind struct {
@@ -66,8 +68,8 @@
 }
 
 // pooled is what all contracts together measured in a region, against one's bound.
-func (st *Steer) pooled(region string, k *Contract, slot int64) (all, over float64, members int) {
-	b := bound{kind{region, k.Messages}, k.Bound.Milliseconds()}
+func (st *Controller) pooled(region string, k *Contract, slot int64) (all, over float64, members int) {
+	b := bound{kind{region, k.ForMessages}, k.Objective.Milliseconds()}
 	n, ok := st.cache[b]
 	if !ok {
 		for _, p := range st.pools[b.kind] {
@@ -89,7 +91,7 @@
 
 // Take takes what was seen. Members that do not lead take it too, so that one that begins
 // to lead knows as much as the last one did.
-func (st *Steer) Take(s State, seen []Seen) {
+func (st *Controller) Observe(s State, seen []Observation) {
 	if s.Version != st.version || st.tracks == nil {
 		st.follow(s)
 	}
@@ -97,47 +99,47 @@
 	before := st.taken
 	for _, w := range seen {
 		t := st.tracks[w.Contract]
-		if t == nil || w.Slot <= before {
+		if t == nil || w.Interval <= before {
 			continue
 		}
-		st.taken = max(st.taken, w.Slot)
-		t.turn(&st.cfg, w.Slot)
-		n := count{w.Slot, float64(w.Hist.All()), float64(w.Hist.Over(t.contract.Bound)), w.Members}
+		st.taken = max(st.taken, w.Interval)
+		t.turn(&st.cfg, w.Interval)
+		n := count{w.Interval, float64(w.Histogram.Count()), float64(w.Histogram.CountAbove(t.contract.Objective)), w.Members}
 		t.all, t.over = t.all+n.all, t.over+n.over
 		if t.regions[w.Region] == nil {
 			if len(t.regions) >= mostZones {
 				continue
 			}
-			t.regions[w.Region] = make(ring, st.cfg.Parts)
+			t.regions[w.Region] = make(ring, st.cfg.EvidenceIntervals)
 		}
 		t.regions[w.Region].add(n)
-		st.pool(kind{w.Region, t.contract.Messages}, w)
+		st.pool(kind{w.Region, t.contract.ForMessages}, w)
 	}
 }
 
-func (st *Steer) pool(k kind, w Seen) {
+func (st *Controller) pool(k kind, w Observation) {
 	parts := st.pools[k]
 	if parts == nil {
 		if len(st.pools) >= 2*mostZones {
 			return
 		}
-		parts = make([]pool, st.cfg.Parts)
+		parts = make([]pool, st.cfg.EvidenceIntervals)
 		st.pools[k] = parts
 	}
-	p := &parts[w.Slot%int64(len(parts))]
-	if p.slot > w.Slot {
+	p := &parts[w.Interval%int64(len(parts))]
+	if p.slot > w.Interval {
 		return
 	}
-	if p.slot < w.Slot {
-		*p = pool{slot: w.Slot, hist: newHist()}
+	if p.slot < w.Interval {
+		*p = pool{slot: w.Interval, hist: newHist()}
 	}
 	p.members = max(p.members, w.Members)
-	_ = w.Hist.into(p.hist, w.Hist.All())
+	_ = w.Histogram.into(p.hist, w.Histogram.Count())
 }
 
 // follow brings the tracks in line with the record's contracts: who has a new promise
 // starts anew.
-func (st *Steer) follow(s State) {
+func (st *Controller) follow(s State) {
 	old := st.tracks
 	st.tracks, st.version = make(map[string]*track, len(s.Contracts)), s.Version
 	for _, c := range s.Contracts {
@@ -152,6 +154,6 @@
 
 // same tells whether what was measured for one contract counts for the other.
 func same(a, b *Contract) bool {
-	return a.Holder == b.Holder && a.Quantile == b.Quantile && a.Bound == b.Bound && a.Messages == b.Messages &&
-		a.Window == b.Window && a.Share == b.Share && slices.Equal(a.Zones, b.Zones)
+	return a.Holder == b.Holder && a.Quantile == b.Quantile && a.Objective == b.Objective && a.ForMessages == b.ForMessages &&
+		a.Window == b.Window && a.Target == b.Target && slices.Equal(a.Zones, b.Zones)
 }
--- a/internal/fleet/slo/world_test.go
+++ b/internal/fleet/slo/world_test.go
@@ -14,14 +14,14 @@
 type world struct {
 	t       testing.TB
 	cfg     Config
-	st      *Steer
+	st      *Controller
 	s       State
 	now     time.Duration
 	regions []Region
 	mean    map[string]float64 // ms, of a region without load
 	demand  map[string]float64
 	rng     *rand.Rand
-	seen    []Seen
+	seen    []Observation
 	moved   []float64 // set-ups a second moved, over all, by minute
 	still   bool      // steer nobody
 	kept    [3]int    // windows kept, by priority
@@ -30,14 +30,14 @@
 }
 
 func newWorld(t testing.TB, contracts, regions, choices int, fill float64) *world {
-	w := &world{t: t, cfg: Default(), now: 1_000_000 * time.Minute, mean: map[string]float64{}, demand: map[string]float64{}, rng: rand.New(rand.NewPCG(7, 7))}
-	w.st = NewSteer(w.cfg)
+	w := &world{t: t, cfg: DefaultConfig(), now: 1_000_000 * time.Minute, mean: map[string]float64{}, demand: map[string]float64{}, rng: rand.New(rand.NewPCG(7, 7))}
+	w.st = NewController(w.cfg)
 	for r := range regions {
-		w.regions = append(w.regions, Region{Name: fmt.Sprintf("r%02d", r), Usable: 1, Capacity: 1000, Load: -1})
+		w.regions = append(w.regions, Region{Name: fmt.Sprintf("r%02d", r), UsableFraction: 1, Capacity: 1000, Load: -1})
 		w.mean[w.regions[r].Name] = 10
 	}
 	for i := range contracts {
-		c := Contract{Name: fmt.Sprintf("c%04d", i), Holder: "a", Quantile: 0.95, Bound: 100 * time.Millisecond, Window: 10 * time.Second, Share: 0.9, Priority: i % 3}
+		c := Contract{Name: fmt.Sprintf("c%04d", i), Holder: "a", Quantile: 0.95, Objective: 100 * time.Millisecond, Window: 10 * time.Second, Target: 0.9, Priority: i % 3}
 		for k := range regions {
 			if (k-i%regions+regions)%regions < choices {
 				c.Zones = append(c.Zones, w.regions[k].Name)
@@ -77,7 +77,7 @@
 // steer sends all contracts to some regions, as a leader before had it.
 func (w *world) steer(shares map[string]float64) {
 	for _, c := range w.s.Contracts {
-		w.s.Steered = append(w.s.Steered, Allocation{Contract: c.Name, Shares: shares, Since: 1})
+		w.s.Allocations = append(w.s.Allocations, Allocation{Contract: c.Name, Shares: shares, SteeredAt: 1})
 	}
 }
 
@@ -95,7 +95,7 @@
 
 // run lets time pass, part by part; the evidence of a part comes with the next.
 func (w *world) run(long time.Duration) {
-	for end := w.now + long; w.now < end; w.now += w.cfg.Part {
+	for end := w.now + long; w.now < end; w.now += w.cfg.SampleInterval {
 		load := w.load()
 		late := w.seen
 		w.seen = nil
@@ -104,7 +104,7 @@
 			missed, n := 0.0, 0.0
 			shares := w.shares(c)
 			for _, r := range w.regions {
-				x := shares[r.Name] * w.demand[c.Name] * w.cfg.Part.Seconds()
+				x := shares[r.Name] * w.demand[c.Name] * w.cfg.SampleInterval.Seconds()
 				all := int(x + w.rng.Float64())
 				miss := math.Exp(-100 / w.mean[r.Name] * max(1-load[r.Name], 0.001))
 				over := 0
@@ -113,7 +113,7 @@
 						over++
 					}
 				}
-				var h Hist
+				var h Histogram
 				if all > over {
 					h = binary.AppendUvarint(binary.AppendUvarint(h, 10), uint64(all-over))
 				}
@@ -126,7 +126,7 @@
 				}
 				missed, n = missed+x*miss, n+x
 				if len(h) > 0 {
-					w.seen = append(w.seen, Seen{"z", c.Name, r.Name, w.cfg.slot(w.now), 3, h})
+					w.seen = append(w.seen, Observation{"z", c.Name, r.Name, w.cfg.slot(w.now), 3, h})
 				}
 			}
 			w.windows[c.Priority]++
@@ -138,12 +138,12 @@
 	}
 }
 
-func (w *world) step(seen []Seen) {
+func (w *world) step(seen []Observation) {
 	minute := int(w.now/time.Minute) - 1_000_000
 	for len(w.moved) <= minute {
 		w.moved = append(w.moved, 0)
 	}
-	c, _, ok := w.st.Step(w.now, w.s, seen, w.regions, w.demand)
+	c, _, ok := w.st.Evaluate(w.now, w.s, seen, w.regions, w.demand)
 	if !ok || w.still {
 		return
 	}
@@ -151,7 +151,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	for _, a := range c.Steer {
+	for _, a := range c.Allocations {
 		k, _ := w.s.Contract(a.Contract)
 		for z, x := range w.shares(&k) {
 			w.moved[minute] += max(x-a.Shares[z], 0) * w.demand[a.Contract]
--- a/internal/operatorconfig/promises.go
+++ b/internal/operatorconfig/promises.go
@@ -26,16 +26,16 @@
 }
 
 func defaultPromises() SLO {
-	d := slo.Default()
+	d := slo.DefaultConfig()
 	in := func(t time.Duration) Duration { return Duration{t} }
-	return SLO{Part: in(d.Part), Parts: d.Parts, Late: in(d.Late), Cells: d.Cells, Z: d.Z, Need: d.Need, Period: in(d.Period),
-		Step: d.Step, Inflow: d.Inflow, Fill: d.Fill, Patience: in(d.Patience), Margin: d.Margin, Explore: d.Explore, Pace: 1}
+	return SLO{Part: in(d.SampleInterval), Parts: d.EvidenceIntervals, Late: in(d.LateSampleTimeout), Cells: d.MaxMeasurements, Z: d.ZScore, Need: d.MinSamples, Period: in(d.MoveInterval),
+		Step: d.MaxMoveFraction, Inflow: d.MaxInflowFraction, Fill: d.MaxUtilization, Patience: in(d.MinBreachInterval), Margin: d.BudgetMargin, Explore: d.ExploreFraction, Pace: 1}
 }
 
 // Config is what package promise takes.
 func (p *SLO) Config() slo.Config {
-	return slo.Config{Part: p.Part.Duration, Parts: p.Parts, Late: p.Late.Duration, Cells: p.Cells, Z: p.Z, Need: p.Need,
-		Period: p.Period.Duration, Step: p.Step, Inflow: p.Inflow, Fill: p.Fill, Patience: p.Patience.Duration, Margin: p.Margin, Explore: p.Explore}
+	return slo.Config{SampleInterval: p.Part.Duration, EvidenceIntervals: p.Parts, LateSampleTimeout: p.Late.Duration, MaxMeasurements: p.Cells, ZScore: p.Z, MinSamples: p.Need,
+		MoveInterval: p.Period.Duration, MaxMoveFraction: p.Step, MaxInflowFraction: p.Inflow, MaxUtilization: p.Fill, MinBreachInterval: p.Patience.Duration, BudgetMargin: p.Margin, ExploreFraction: p.Explore}
 }
 
 // paced is from where a faster clock runs: it has to be the same at all members.
@@ -54,7 +54,7 @@
 	const key = "fleet.promises."
 	c.fault(p.Enabled && !l.ReplicatedLog.IsEnabled(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
 	c.fault(p.Pace < 1 || p.Pace > 60, key+"pace", p.Pace, "1 to 60")
-	if bad := p.Config().Check(); bad != "" {
+	if bad := p.Config().InvalidKey(); bad != "" {
 		c.fault(true, key+bad, "a figure that can't be worked with", "what 'coralctl explain fleet.promises."+bad+"' tells")
 	}
 }
--- a/internal/route/snapshot/told.go
+++ b/internal/route/snapshot/told.go
@@ -28,12 +28,12 @@
 		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, Parts: parts(r.ZoneShares, regions, ready),
 			Zones: zonesOf(a, r.Owner, regions), Contract: contract(r, p, held)})
 	}
-	for _, s := range p.Steered {
+	for _, s := range p.Allocations {
 		shares := map[string]float64{}
 		for _, name := range slices.Sorted(maps.Keys(s.Shares)) {
 			spread(name, s.Shares[name], regions, ready, func(zone string, part float64) { shares[zone] += part })
 		}
-		w.Steer = append(w.Steer, route.Allocation{Contract: s.Contract, Shares: shares, Over: s.Over})
+		w.Steer = append(w.Steer, route.Allocation{Contract: s.Contract, Shares: shares, Over: s.Overflow})
 	}
 	return w
 }
--- a/internal/route/snapshot/told_test.go
+++ b/internal/route/snapshot/told_test.go
@@ -35,7 +35,7 @@
 		p := slo.State{}
 		if tt.at.Name != "" {
 			p.Contracts = []slo.Contract{tt.at}
-			p.Steered = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
+			p.Allocations = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
 		}
 		table, err := route.Compile(Whole(7, a, p, regions, ready))
 		if err != nil {
--- a/internal/scenario/promises_contracts.go
+++ b/internal/scenario/promises_contracts.go
@@ -25,8 +25,8 @@
 // transactions, and one is promised what no region can keep.
 func (s *promisesScene) tenants() []tenant {
 	of := func(name string, priority int, part, share float64, bound time.Duration, zones ...string) tenant {
-		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Bound: bound, Window: 10 * time.Second,
-			Share: share, Priority: priority, Zones: zones}, part}
+		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Objective: bound, Window: 10 * time.Second,
+			Target: share, Priority: priority, Zones: zones}, part}
 	}
 	return []tenant{of("gold", 0, 0.22, 0.8, within), of("rigid", 1, 0.38, 0.8, within, s.quick, s.small), of("silver", 1, 0.13, 0.8, within),
 		of("bronze", 2, 0.17, 0.8, within), of("thin", 2, 0.03, 0.9, within), of("dream", 0, 0.07, 0.8, 5*time.Millisecond)}
--- a/internal/scenario/promises_seen.go
+++ b/internal/scenario/promises_seen.go
@@ -86,14 +86,14 @@
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
-		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.Steps <= steps {
+		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.AllocationVersion <= steps {
 			continue // an agent that is behind, or has not met anybody
 		}
-		steps = state.Contracts.Steps
+		steps = state.Contracts.AllocationVersion
 		s.mu.Lock()
-		for _, a := range state.Contracts.Steered {
+		for _, a := range state.Contracts.Allocations {
 			old, ok := last[a.Contract]
-			if ok && old.Since == a.Since {
+			if ok && old.SteeredAt == a.SteeredAt {
 				continue
 			}
 			if !ok { // it was drawn evenly among the next hops that it may use
@@ -104,8 +104,8 @@
 				x.moved += max(a.Shares[zone]-old.Shares[zone], 0)
 				x.left[zone] = old.Shares[zone] - a.Shares[zone]
 			}
-			if last[a.Contract] = a; a.Unkept != "" {
-				s.unkept[a.Contract] = a.Unkept
+			if last[a.Contract] = a; a.UnmetReason != "" {
+				s.unkept[a.Contract] = a.UnmetReason
 			}
 			s.shares = append(s.shares, x)
 		}
@@ -142,7 +142,7 @@
 
 // seen is a bound as a client sees it: his node asks a next hop for its load before it sends
 // him there, and his own way comes on top.
-func (t *tenant) seen() time.Duration { return t.Bound + 10*time.Millisecond }
+func (t *tenant) seen() time.Duration { return t.Objective + 10*time.Millisecond }
 
 // kept is the share of a tenant's windows of one second between two times in which his
 // promise held, as his clients saw it; and how many windows there were.
@@ -200,7 +200,7 @@
 	}
 	bears := float64(len(s.ServersIn(zone))) / float64(s.SLOOptions.Servers) / testbed.UsualLoad
 	for _, x := range s.moves(time.Time{}, until) {
-		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Over, 0)
+		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Overflow, 0)
 		sum := 0.0
 		for _, part := range now {
 			sum += part
