--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -64,20 +64,20 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer cancel()
-	o := agent.Options{Name: f.Name, Zone: f.Zone, Member: m, Why: "off", Lease: f.ReplicatedLog.Lease.Duration, Clock: clock,
-		Offset: c.ClockOffset, Together: mutation.Enabled("together"), Guards: zoneGuards()}
+	o := agent.Options{Name: f.Name, Zone: f.Zone, Gossip: m, NoLogReason: "off", LogLease: f.ReplicatedLog.Lease.Duration, Clock: clock,
+		ClockOffset: c.ClockOffset, AlwaysIsolated: mutation.Enabled("together"), ZoneGuards: zoneGuards()}
 	if f.Zones.Enabled {
 		zones := f.Zones.Config()
 		o.Zones = &zones
 	}
-	o.Promises = promises(f)
+	o.SLO = promises(f)
 	if f.ReplicatedLog.IsEnabled() {
 		deal := f.AllocationConfig()
 		o.Accounts = &deal
 		if err := keepRecord(ctx, &parts, f, &o); err != nil {
 			// The node beside this agent is served all the same.
 			slog.Error("fleet: the record is not kept, this member acts on what its node sees", "err", err)
-			o.Why = err.Error()
+			o.NoLogReason = err.Error()
 		}
 	}
 	a := agent.New(o)
--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -49,7 +49,7 @@
 		voters = append(voters, replog.Voter(v))
 	}
 	peers := func() (all []replog.Peer) {
-		for _, m := range o.Member.Members() {
+		for _, m := range o.Gossip.Members() {
 			if m.Name != f.Name && m.Record != "" && m.Status == quota.Alive {
 				all = append(all, replog.Peer{Name: m.Name, Addr: m.Record, Index: m.Index})
 			}
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	o.Record = r
+	o.Log = r
 	parts.Go(func() {
 		if err := r.Run(ctx); err != nil {
 			slog.Error("fleet: the record has ended, this member acts on its last state and on what its node sees", "err", err)
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -79,8 +79,8 @@
 		log, state := &writ{}, tree(0, -1)
 		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, ConfirmedAt: time.Now()}) }
 		set()
-		a := agent.New(agent.Options{Name: "n1", Zone: "a", Record: log, Clock: clock, Accounts: &deal,
-			Member: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.HolderTimeout, Fresh: time.Second}, quota.Guards{}, clock)})
+		a := agent.New(agent.Options{Name: "n1", Zone: "a", Log: log, Clock: clock, Accounts: &deal,
+			Gossip: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, Hold: deal.HolderTimeout, Fresh: time.Second}, quota.Guards{}, clock)})
 		go a.Run(ctx)
 
 		hops := &sound{}
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -74,7 +74,7 @@
 			time.Sleep(150 * time.Millisecond)
 			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
 				for i := range 5 {
-					w.agent.Member.Hear(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
+					w.agent.Gossip.Hear(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
 				}
 			}
 			gathered.Say(&said)
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -21,7 +21,7 @@
 const every = 100 * time.Millisecond
 
 // Record is what an agent asks of package record.
-type Record interface {
+type ReplicatedLog interface {
 	View() replog.View
 	Changed() <-chan struct{}
 	Propose(context.Context, logentry.Entry) (logentry.Outcome, error)
@@ -30,18 +30,18 @@
 
 // Options say what an agent is made of.
 type Options struct {
-	Name, Zone string
-	Member     *gossip.Agent
-	Record     Record             // nil for none
-	Why        string             // there is none: off, or what is wrong
-	Zones      *zonestatus.Config // nil where zones are not left
-	Lease      time.Duration      // the record's
-	Offset     time.Duration      // of the agent's clock over the machine's, for rehearsals
-	Clock      func() time.Duration
-	Together   bool // a guard taken out: decide alone though the record is heard
-	Guards     zonestatus.Guards
-	Promises   *Promises            // nil where contracts are not kept
-	Accounts   *account.LeaseConfig // nil where routes and limits are not told
+	Name, Zone     string
+	Gossip         *gossip.Agent
+	Log            ReplicatedLog      // nil for none
+	NoLogReason    string             // there is none: off, or what is wrong
+	Zones          *zonestatus.Config // nil where zones are not left
+	LogLease       time.Duration      // the record's
+	ClockOffset    time.Duration      // of the agent's clock over the machine's, for rehearsals
+	Clock          func() time.Duration
+	AlwaysIsolated bool // a guard taken out: decide alone though the record is heard
+	ZoneGuards     zonestatus.Guards
+	SLO            *SLOOptions          // nil where contracts are not kept
+	Accounts       *account.LeaseConfig // nil where routes and limits are not told
 }
 
 // Agent answers a node and operators: it is a link.Agent.
@@ -65,12 +65,12 @@
 	a := &Agent{Options: o, began: o.Clock(), out: make(chan struct{}, 1)}
 	if o.Zones != nil {
 		a.alone, a.watch = zonestatus.NewIsolatedController(*o.Zones), zonestatus.NewController(*o.Zones)
-		a.alone.DisabledGuards, a.watch.DisabledGuards = o.Guards, o.Guards
+		a.alone.DisabledGuards, a.watch.DisabledGuards = o.ZoneGuards, o.ZoneGuards
 	}
 	if o.Accounts != nil {
 		a.dealing.cfg, a.dealing.jobs = *o.Accounts, make(chan job, 1)
 	}
-	if o.Promises != nil {
+	if o.SLO != nil {
 		a.keeping = newKeeping(o)
 	}
 	return a
@@ -88,8 +88,8 @@
 	defer tick.Stop()
 	for {
 		var changed <-chan struct{}
-		if a.Record != nil {
-			changed = a.Record.Changed()
+		if a.Log != nil {
+			changed = a.Log.Changed()
 		}
 		a.step(ctx, &proposals)
 		select {
@@ -105,39 +105,39 @@
 func (a *Agent) step(ctx context.Context, proposals *sync.WaitGroup) {
 	now := a.Clock()
 	var v replog.View
-	if a.Record != nil {
-		v = a.Record.View()
+	if a.Log != nil {
+		v = a.Log.View()
 	}
 	var d gossip.Decided
 	var state zonestatus.State
 	if v.State != nil {
 		d.Index, state = v.State.Index, v.State.Zones
 	}
-	heard := a.hears(now, v) && !a.Together
+	heard := a.hears(now, v) && !a.AlwaysIsolated
 	switch {
 	case a.Zones == nil:
 	case heard:
 		d.Bounds, d.Over = state.TrafficLimits(a.Zone), state.Shed
 	default:
-		d.Bounds, d.Over = a.alone.Evaluate(now, state, a.Member.Own()), state.Shed
+		d.Bounds, d.Over = a.alone.Evaluate(now, state, a.Gossip.Own()), state.Shed
 	}
-	a.Member.Decide(d)
+	a.Gossip.Decide(d)
 	a.mu.Lock()
 	a.given = d
 	a.mu.Unlock()
-	if a.Zones != nil && a.Record != nil && a.Record.IsLeader() {
+	if a.Zones != nil && a.Log != nil && a.Log.IsLeader() {
 		a.lead(ctx, now, state, proposals)
 	}
 	if a.Accounts != nil {
 		a.tables.renew(now, v.State)
 	}
-	a.keep(ctx, now, v, a.Record != nil && a.Record.IsLeader(), proposals)
+	a.keep(ctx, now, v, a.Log != nil && a.Log.IsLeader(), proposals)
 }
 
 // hears tells whether the record's word holds, and says when it begins or ends not to.
 func (a *Agent) hears(now time.Duration, v replog.View) bool {
 	switch {
-	case a.Zones == nil || v.Fresh != a.deaf || !v.Fresh && now-a.began < a.Lease:
+	case a.Zones == nil || v.Fresh != a.deaf || !v.Fresh && now-a.began < a.LogLease:
 		return v.Fresh
 	case v.Fresh:
 		slog.Info("fleet: zones: this member goes by the record's word again", "index", v.State.Index, "leader", v.Leader)
@@ -157,13 +157,13 @@
 
 // Answer takes what the node has said. The node's clock is the machine's.
 func (a *Agent) Answer(s agentapi.Said) agentapi.Told {
-	g := a.Member.Answer(s.QuotaUsage)
-	g.TokensExpireAt -= a.Offset
+	g := a.Gossip.Answer(s.QuotaUsage)
+	g.TokensExpireAt -= a.ClockOffset
 	told := agentapi.Told{QuotaLease: g}
-	if a.Accounts != nil && a.Record != nil {
+	if a.Accounts != nil && a.Log != nil {
 		a.tables.hear(&s)
 		a.tables.tell(&s, &told)
-		a.dealing.tell(a, a.Clock(), a.Record.View(), &s, &told)
+		a.dealing.tell(a, a.Clock(), a.Log.View(), &s, &told)
 	}
 	a.counted(&s, &told)
 	return told
--- a/internal/fleet/agent/lead.go
+++ b/internal/fleet/agent/lead.go
@@ -19,12 +19,12 @@
 // so that each is decided on the state that the last one left.
 func (a *Agent) lead(ctx context.Context, now time.Duration, state zonestatus.State, proposals *sync.WaitGroup) {
 	var members []zonestatus.Member
-	for _, m := range a.Member.Members() {
+	for _, m := range a.Gossip.Members() {
 		if m.Status != quota.Left {
 			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
 	}
-	change, why, ok := a.watch.Evaluate(now, state, a.Member.Words(), members)
+	change, why, ok := a.watch.Evaluate(now, state, a.Gossip.Words(), members)
 	if !ok {
 		return
 	}
@@ -47,7 +47,7 @@
 		slog.Error("fleet: zones", "err", err)
 		return
 	}
-	outcome, err := a.Record.Propose(ctx, logentry.Entry{Kind: logentry.KindZones, ProposedBy: a.Name, ProposedAt: now.Milliseconds(), Reason: why, Body: body})
+	outcome, err := a.Log.Propose(ctx, logentry.Entry{Kind: logentry.KindZones, ProposedBy: a.Name, ProposedAt: now.Milliseconds(), Reason: why, Body: body})
 	switch {
 	case err != nil:
 		slog.Warn("fleet: zones: a change was not decided", "why", why, "err", err)
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -14,7 +14,7 @@
 )
 
 // Outcome answers the asks "check" and "propose".
-type Outcome struct {
+type ProposalOutcome struct {
 	Outcome logentry.Outcome `json:"outcome"`
 }
 
@@ -25,13 +25,13 @@
 	case "state":
 		return a.State(), nil
 	case "record", "check", "propose":
-		if a.Record == nil {
-			return nil, fmt.Errorf("fleet.record: %s", a.Why)
+		if a.Log == nil {
+			return nil, fmt.Errorf("fleet.record: %s", a.NoLogReason)
 		}
 	default:
 		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", ask.Ask)
 	}
-	state := a.Record.View().State
+	state := a.Log.View().State
 	if ask.Ask == "record" {
 		return state, nil
 	}
@@ -47,11 +47,11 @@
 	}
 	e.ProposedBy = a.Name
 	if ask.Ask == "propose" {
-		o, err := a.Record.Propose(ctx, e)
+		o, err := a.Log.Propose(ctx, e)
 		if errors.Is(err, replog.ErrOutcomeUnknown) {
 			err = &agentapi.Refusal{Text: err.Error(), Unknown: true}
 		}
-		return Outcome{o}, err
+		return ProposalOutcome{o}, err
 	}
 	raw, err := json.Marshal(e)
 	if err != nil {
@@ -61,7 +61,7 @@
 	if err := state.Check(raw); err != nil {
 		o.Accepted, o.Reason = false, err.Error()
 	}
-	return Outcome{o}, nil
+	return ProposalOutcome{o}, nil
 }
 
 // operators tells whether an entry can be an operator's. Postures of zones and allocations are
@@ -89,10 +89,10 @@
 // State is what this member knows and tells its node.
 func (a *Agent) State() agentapi.State {
 	s := agentapi.State{Name: a.Name, Zone: a.Zone, Record: "on", Heard: -1, Postures: []agentapi.Seen{}, Bounds: []agentapi.Bound{}}
-	if a.Record == nil {
-		s.Record = a.Why
+	if a.Log == nil {
+		s.Record = a.NoLogReason
 	} else {
-		v := a.Record.View()
+		v := a.Log.View()
 		s.Role, s.Leader, s.Fresh, s.Disk = v.Role, v.Leader, v.Fresh, v.DiskError
 		if !v.ConfirmedAt.IsZero() {
 			s.Heard = time.Since(v.ConfirmedAt).Milliseconds()
@@ -111,7 +111,7 @@
 		s.Bounds = append(s.Bounds, agentapi.Bound(b))
 	}
 	a.mu.Unlock()
-	for _, m := range a.Member.Members() {
+	for _, m := range a.Gossip.Members() {
 		s.Members = append(s.Members, agentapi.Peer{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), Record: m.Record, Index: m.Index, At: m.At})
 	}
 	return s
--- a/internal/fleet/agent/promises.go
+++ b/internal/fleet/agent/promises.go
@@ -16,13 +16,13 @@
 )
 
 // Promises say how an agent takes part in keeping contracts on response times.
-type Promises struct {
-	Config slo.Config
-	Pace   int                                    // how many times faster the Config's time passes; 1 but for rehearsals
-	Time   func(unix time.Duration) time.Duration // the Config's time
-	Zones  zonestatus.Config                      // regions, and what a warm next hop bears
-	Voters []string                               // who may lead
-	Guards slo.Guards
+type SLOOptions struct {
+	Config     slo.Config
+	TimeScale  int                                    // how many times faster the Config's time passes; 1 but for rehearsals
+	ScaledTime func(unix time.Duration) time.Duration // the Config's time
+	Zones      zonestatus.Config                      // regions, and what a warm next hop bears
+	Voters     []string                               // who may lead
+	Guards     slo.Guards
 }
 
 const (
@@ -35,7 +35,7 @@
 // keeping is one agent's part. Fleet and known are guarded by mu; what is below belongs to
 // the agent's Run.
 type keeping struct {
-	Promises
+	SLOOptions
 	name, zone string
 	tell       func(member string, message []byte) error
 	out        map[string]chan []byte // to each other voter
@@ -56,7 +56,7 @@
 }
 
 func newKeeping(o Options) *keeping {
-	k := &keeping{Promises: *o.Promises, name: o.Name, zone: o.Zone, tell: o.Member.Tell, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
+	k := &keeping{SLOOptions: *o.SLO, name: o.Name, zone: o.Zone, tell: o.Gossip.Tell, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
 	for _, v := range k.Voters {
 		if v == k.name {
 			k.fleet, k.steer = slo.NewAggregator(k.Config), slo.NewController(k.Config)
@@ -65,7 +65,7 @@
 		}
 		k.out[v] = make(chan []byte, waiting)
 	}
-	o.Member.Told = func(raw []byte) { k.hear(o.Clock(), raw) }
+	o.Gossip.Told = func(raw []byte) { k.hear(o.Clock(), raw) }
 	return k
 }
 
@@ -132,7 +132,7 @@
 	if at, ok := k.known[s.Member]; !ok || at != s.Zone {
 		return
 	}
-	if _, err := k.fleet.Merge(k.Time(now), s); err != nil {
+	if _, err := k.fleet.Merge(k.ScaledTime(now), s); err != nil {
 		slog.Warn("fleet: promises: a sample was refused", "err", err)
 	}
 }
@@ -152,7 +152,7 @@
 		k.fleet.SetContracts(s, regions)
 		k.version, k.names = s.Version, names
 	}
-	seen := k.fleet.CloseIntervals(k.Time(now))
+	seen := k.fleet.CloseIntervals(k.ScaledTime(now))
 	k.mu.Unlock()
 	k.count(now, seen)
 	k.seen = append(k.seen, seen...)
@@ -160,11 +160,11 @@
 
 // counted takes what the node has measured, and tells it by which contracts it counts.
 func (a *Agent) counted(said *agentapi.Said, told *agentapi.Told) {
-	if a.keeping == nil || a.Record == nil {
+	if a.keeping == nil || a.Log == nil {
 		return
 	}
 	a.keeping.measured(a.Clock(), said.Samples)
-	if v := a.Record.View(); v.State != nil && v.State.Contracts.Version != said.Contracts {
+	if v := a.Log.View(); v.State != nil && v.State.Contracts.Version != said.Contracts {
 		told.Promised = promised(v.State.Contracts)
 	}
 }
@@ -179,7 +179,7 @@
 
 // present are the members that have not left, as the rooms take them.
 func (a *Agent) present() (members []zonestatus.Member) {
-	for _, m := range a.Member.Members() {
+	for _, m := range a.Gossip.Members() {
 		if m.Status != quota.Left {
 			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
--- a/internal/fleet/agent/promises_lead.go
+++ b/internal/fleet/agent/promises_lead.go
@@ -22,14 +22,14 @@
 		return
 	}
 	s, members := v.State.Contracts, a.present()
-	regions := k.regions(v.State.Zones, a.Member.Words(), members)
+	regions := k.regions(v.State.Zones, a.Gossip.Words(), members)
 	k.turn(now, s, regions, members)
 	if !leads {
 		k.steer.Observe(s, k.seen)
 		k.seen = nil
 		return
 	}
-	at, version := k.Time(now), v.State.Zones.Version
+	at, version := k.ScaledTime(now), v.State.Zones.Version
 	if len(s.Contracts) == 0 || at-k.looked < k.Config.SampleInterval && at >= k.looked && version == k.zones {
 		return
 	}
@@ -64,7 +64,7 @@
 		slog.Error("fleet: promises", "err", err)
 		return 0
 	}
-	outcome, err := a.Record.Propose(ctx, logentry.Entry{Kind: logentry.KindContracts, ProposedBy: a.Name, ProposedAt: at.Milliseconds(), Reason: why, Body: body})
+	outcome, err := a.Log.Propose(ctx, logentry.Entry{Kind: logentry.KindContracts, ProposedBy: a.Name, ProposedAt: at.Milliseconds(), Reason: why, Body: body})
 	switch {
 	case err != nil:
 		slog.Warn("fleet: promises: a step was not decided", "why", why, "err", err)
--- a/internal/fleet/agent/promises_regions.go
+++ b/internal/fleet/agent/promises_regions.go
@@ -27,7 +27,7 @@
 		p.contracts[w.Contract] += all
 		p.inRegion[w.Region] += all
 	}
-	last := int64((k.Time(now)-k.Config.LateSampleTimeout)/k.Config.SampleInterval) - 1
+	last := int64((k.ScaledTime(now)-k.Config.LateSampleTimeout)/k.Config.SampleInterval) - 1
 	k.parts = slices.DeleteFunc(k.parts, func(p part) bool { return p.slot <= last-int64(k.Config.EvidenceIntervals) })
 }
 
@@ -86,12 +86,12 @@
 	of := map[string]*slo.Region{}
 	for _, name := range slices.Sorted(maps.Keys(seen)) {
 		z, region := seen[name], cmp.Or(k.Zones.RegionOf(name), name)
-		bears := median(z.servers) * k.Zones.EndpointSetupRate / float64(max(k.Pace, 1))
+		bears := median(z.servers) * k.Zones.EndpointSetupRate / float64(max(k.TimeScale, 1))
 		usable, load := 1.0, -1.0
 		if share, bounded := left[name]; bounded {
 			usable = share
 		}
-		if most := rate[name] / float64(max(k.Pace, 1)); most > 0 && most < usable*bears {
+		if most := rate[name] / float64(max(k.TimeScale, 1)); most > 0 && most < usable*bears {
 			usable = most / bears
 		}
 		if len(z.loads) > 0 {
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -13,7 +13,7 @@
 func TestRegions(t *testing.T) {
 	cfg := zonestatus.DefaultConfig()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
-	k := &keeping{Promises: Promises{Config: slo.DefaultConfig(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
+	k := &keeping{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
 	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
 	see := func(member string, servers int, load float64) zonestatus.Report {
 		return zonestatus.Report{Member: member, Observations: []zonestatus.Observation{{Zone: "a", Endpoints: servers, Load: load}, {Zone: "b", Endpoints: servers, Load: -1}, {Zone: "c", Endpoints: servers, WarmingUp: servers, Load: load}}}
@@ -43,7 +43,7 @@
 		at   string
 		want int
 	}{"known": {"b", 1}, "elsewhere": {"c", 0}, "a stranger": {"", 0}} {
-		k := &keeping{Promises: Promises{Config: slo.DefaultConfig(), Pace: 1, Time: func(at time.Duration) time.Duration { return at }}, name: "n1",
+		k := &keeping{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }}, name: "n1",
 			fleet: slo.NewAggregator(slo.DefaultConfig()), steer: slo.NewController(slo.DefaultConfig())}
 		members := []zonestatus.Member{{Name: "n2", Zone: tt.at, Alive: true}}
 		if tt.at == "" {
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -78,12 +78,12 @@
 		d.own = *s.Uses
 		d.own.Member, d.own.ReportedAt = a.Name, now
 		if d.own.IsValid() {
-			a.Member.Used(d.own)
+			a.Gossip.Used(d.own)
 		} else {
 			d.own = account.Usage{Member: a.Name, ReportedAt: now}
 		}
 	}
-	uses := a.Member.Uses()
+	uses := a.Gossip.Uses()
 	half, heard := int64(now/(d.cfg.Epoch/2)), 0
 	for _, u := range uses {
 		if u.HalfEpoch == half {
@@ -118,7 +118,7 @@
 		return
 	}
 	r := parts[piece]
-	r.ExpiresAt -= a.Offset // the node's clock is the machine's
+	r.ExpiresAt -= a.ClockOffset // the node's clock is the machine's
 	to.Rights, to.Deal, to.Pieces, to.More = &r, d.number, len(parts), piece+1 < len(parts)
 }
 
@@ -129,7 +129,7 @@
 	if a.lost(j.now, j.view, d.cfg.HolderTimeout) {
 		r = account.AllocateEvenShare(j.now, d.cfg, tree, j.own, j.among)
 	} else {
-		r = account.Allocate(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Member.Holders(), a.Name)
+		r = account.Allocate(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Gossip.Holders(), a.Name)
 	}
 	for _, m := range []map[string]account.Amounts{r.Allocated, r.EvenShares} { // no bound is what the node takes silence for
 		maps.DeleteFunc(m, func(_ string, f account.Amounts) bool {
@@ -174,7 +174,7 @@
 	if d.last.HolderCount > 0 {
 		return d.last
 	}
-	holders := a.Member.Holders()
+	holders := a.Gossip.Holders()
 	return account.QuotaLease{HolderRank: max(slices.Index(holders, a.Name), 0), HolderCount: max(d.cfg.FleetSize, len(holders), 1)}
 }
 
--- a/internal/fleet/agent/stored_test.go
+++ b/internal/fleet/agent/stored_test.go
@@ -15,7 +15,7 @@
 //
 //	go test ./internal/fleet/agent -run TestStored -update
 func TestStoredAnswerToOperators(t *testing.T) {
-	storedtest.AssertJSON(t, "outcome.json", Outcome{logentry.Outcome{Index: 101, Accepted: true, Reason: "why it was not"}})
+	storedtest.AssertJSON(t, "outcome.json", ProposalOutcome{logentry.Outcome{Index: 101, Accepted: true, Reason: "why it was not"}})
 }
 
 // The words that the answer to the ask "state" has for postures and for members' statuses.
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -104,7 +104,7 @@
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
 		m.Saw(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
-	w.agent = New(Options{Name: "n1", Zone: "a", Member: m, Record: w.ledger, Zones: &cfg, Lease: 2 * time.Second, Clock: clock,
+	w.agent = New(Options{Name: "n1", Zone: "a", Gossip: m, Log: w.ledger, Zones: &cfg, LogLease: 2 * time.Second, Clock: clock,
 		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6}})
 	l := &pipes{made: make(chan net.Conn), closed: make(chan struct{})}
 	w.dial = l.dial
@@ -128,7 +128,7 @@
 			}
 			sights += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failed[to])
 		}
-		w.agent.Member.Hear(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
+		w.agent.Gossip.Hear(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
 			i+2, seq, time.Now().UnixNano(), z, sights[1:]))
 	}
 }
