--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -54,7 +54,7 @@
 	if probes, at := drawsUntilPlaced(d, "r2", loads); probes != 0 || at != "" {
 		t.Errorf("placed on %q after %d probes at once, want a pause", at, probes)
 	}
-	if got := pick[Probe](d.run(d.now + firstPause*2)); len(got) != 1 {
+	if got := pick[Probe](d.run(d.now + minBackoff*2)); len(got) != 1 {
 		t.Errorf("%d probes after the pause, want 1", len(got))
 	}
 }
@@ -63,8 +63,8 @@
 // is told so, and when to return; it was kept until its client was about to give up.
 func TestPassedOverIsAnsweredWithinItsAim(t *testing.T) {
 	d := newBench(t, settings(), "a")
-	d.b.congested()
-	d.b.pausedTo = d.now + 10*time.Second
+	d.b.reduceWindow()
+	d.b.backoffEndsAt = d.now + 10*time.Second
 	asked := d.now
 	d.request("r")
 	for d.now < asked+2*time.Second {
@@ -104,7 +104,7 @@
 func TestNewestInTheQueueGoesFirst(t *testing.T) {
 	d := newBench(t, settings(), "a")
 	d.b.window = 1
-	d.b.congested()
+	d.b.reduceWindow()
 	d.request("old")
 	d.now += 10 * ms
 	d.request("new")
@@ -122,7 +122,7 @@
 // its bottom for good.
 func TestQueueKeepsNothingThatEnded(t *testing.T) {
 	d := newBench(t, settings(), "a")
-	d.b.congested()
+	d.b.reduceWindow()
 	for i := range 3 {
 		d.request(fmt.Sprint("r", i))
 	}
--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -7,61 +7,61 @@
 
 // ringHomes is how many homes a group has at most. The largest groups fill more
 // than one server, and a member that finds no home costs the fleet a group's load.
-const ringHomes = 6
+const maxRingServers = 6
 
 // settleOn ends the drawing at s. Where every server that holds any of a
 // group pays for it, one of the group's homes goes before s if it is not above
 // highest, or at no higher level than s: the homes are probed in turn.
-func (b *Balancer) settleOn(r *request, s *server) {
-	if !b.set.Connections.GroupAffinity || r.Group == "" {
-		b.send(r, s)
+func (b *Balancer) placeWithAffinity(r *request, s *server) {
+	if !b.settings.Connections.GroupAffinity || r.Group == "" {
+		b.sendAttempt(r, s)
 		return
 	}
-	r.homing, r.best, r.bestLoad = true, s, b.loadOf(s)
+	r.tryingAffinity, r.bestServer, r.bestLoad = true, s, b.estimatedLoad(s)
 	if g := b.groups[r.Group]; g != nil {
-		r.homes = append(r.homes, g.home)
+		r.affinityServers = append(r.affinityServers, g.lastServer)
 	}
 	// Then those that all instances agree on: who follows the group's hash on the ring.
-	i, _ := slices.BinarySearchFunc(b.ring, hash(r.Group), byHash)
-	most := len(r.homes) + ringHomes
-	for k := 0; k < len(b.ring) && len(r.homes) < most; k++ {
-		if h := b.ring[(i+k)%len(b.ring)]; b.bound(r, h) > 0 {
-			r.homes = append(r.homes, h)
+	i, _ := slices.BinarySearchFunc(b.ring, ringHash(r.Group), compareRingHash)
+	most := len(r.affinityServers) + maxRingServers
+	for k := 0; k < len(b.ring) && len(r.affinityServers) < most; k++ {
+		if h := b.ring[(i+k)%len(b.ring)]; b.constraintShare(r, h) > 0 {
+			r.affinityServers = append(r.affinityServers, h)
 		}
 	}
-	b.nextHome(r)
+	b.tryNextAffinityServer(r)
 }
 
 // nextHome asks r's next home, or sends r where its draws have decided.
-func (b *Balancer) nextHome(r *request) {
-	for len(r.homes) > 0 {
-		h := r.homes[0]
-		r.homes = r.homes[1:]
-		if h == r.best {
+func (b *Balancer) tryNextAffinityServer(r *request) {
+	for len(r.affinityServers) > 0 {
+		h := r.affinityServers[0]
+		r.affinityServers = r.affinityServers[1:]
+		if h == r.bestServer {
 			break
 		}
-		known := slices.Contains(r.drawn, h)
-		if h.slot < 0 || !b.allowed(r, h) || b.rng.Float64() >= b.share(r, h) ||
-			known && (h.probing || b.trust(h) < 1) { // it was drawn, and did not answer
+		known := slices.Contains(r.drawnServers, h)
+		if h.readyIndex < 0 || !b.isAllowed(r, h) || b.rng.Float64() >= b.drawShare(r, h) ||
+			known && (h.probeInFlight || b.faultShare(h) < 1) { // it was drawn, and did not answer
 			continue
 		}
-		if known || !b.probesTell() {
-			b.atHome(r, h, true)
+		if known || !b.canProbe() {
+			b.decideAffinityServer(r, h, true)
 			return
 		}
-		r.drawn = append(r.drawn, h)
-		b.ask(r, h)
+		r.drawnServers = append(r.drawnServers, h)
+		b.awaitProbe(r, h)
 		return
 	}
-	b.send(r, r.best)
+	b.sendAttempt(r, r.bestServer)
 }
 
 // atHome decides for r, whose home s was probed.
-func (b *Balancer) atHome(r *request, s *server, answered bool) {
-	load := b.loadOf(s)
-	if answered && load >= 0 && b.mayTake(s) && (load < highest || b.level(load) <= b.level(r.bestLoad)) {
-		b.send(r, s)
+func (b *Balancer) decideAffinityServer(r *request, s *server, answered bool) {
+	load := b.estimatedLoad(s)
+	if answered && load >= 0 && b.hasCapacity(s) && (load < maxLowLoad || b.level(load) <= b.level(r.bestLoad)) {
+		b.sendAttempt(r, s)
 		return
 	}
-	b.nextHome(r)
+	b.tryNextAffinityServer(r)
 }
--- a/balance/constraints.go
+++ b/balance/constraints.go
@@ -5,50 +5,50 @@
 // limits of cold servers have taken.
 
 // zoneOf is the fleet's word on s's zone; nil where it has none.
-func (b *Balancer) zoneOf(s *server) *zone {
-	if !b.zoned || b.now >= b.sharedTo {
+func (b *Balancer) zoneLimitOf(s *server) *zoneLimit {
+	if !b.hasZoneLimits || b.now >= b.leaseEndsAt {
 		return nil
 	}
-	return b.zones[s.Zone]
+	return b.zoneLimits[s.Zone]
 }
 
 // bound is the part of its draws that s keeps by its zone, and of those by r's bound.
-func (b *Balancer) bound(r *request, s *server) float64 {
+func (b *Balancer) constraintShare(r *request, s *server) float64 {
 	p := 1.0
-	if z := b.zoneOf(s); z != nil {
+	if z := b.zoneLimitOf(s); z != nil {
 		p = z.share
 	}
 	if r.Constraint != nil {
-		p *= r.Constraint.part(s.Zone)
+		p *= r.Constraint.shareOf(s.Zone)
 	}
 	return p
 }
 
 // zoneTakes tells whether s's zone has a token left, if it has any.
-func (b *Balancer) zoneTakes(s *server) bool {
-	z := b.zoneOf(s)
-	return z == nil || z.tokens < 0 || z.used < z.tokens && b.now < b.tokensTo
+func (b *Balancer) zoneHasTokens(s *server) bool {
+	z := b.zoneLimitOf(s)
+	return z == nil || z.tokens < 0 || z.tokensUsed < z.tokens && b.now < b.tokensExpireAt
 }
 
 // part is the part of a zone's draws that q keeps.
-func (q *ZoneConstraint) part(zone string) float64 {
+func (q *ZoneConstraint) shareOf(zone string) float64 {
 	for _, z := range q.Zones {
 		if z.Zone == zone {
-			return clamp(z.Share)
+			return clampShare(z.Share)
 		}
 	}
-	return clamp(q.DefaultShare)
+	return clampShare(q.DefaultShare)
 }
 
 // pickAmong draws as pick does where most draws are void: of all servers at once, each by
 // the part that it keeps. One of many zones is missed too often by drawing again.
-func (b *Balancer) pickAmong(r *request) (found *server) {
+func (b *Balancer) drawWeighted(r *request) (found *server) {
 	sum := 0.0
 	for _, s := range b.ready {
-		if !b.allowed(r, s) {
+		if !b.isAllowed(r, s) {
 			continue
 		}
-		p := b.share(r, s)
+		p := b.drawShare(r, s)
 		if sum += p; b.rng.Float64()*sum < p {
 			found = s
 		}
--- a/balance/constraints_test.go
+++ b/balance/constraints_test.go
@@ -224,14 +224,14 @@
 	for len(pick[Probe](actions)) > 0 {
 		actions = d.answer(pick[Probe](actions)[0].Server, 1.2)
 	}
-	if len(pick[Reject](actions)) != 1 || d.b.pausedTo > d.now || d.b.window < widest {
-		t.Errorf("%v, paused to %v and a window of %v", actions, d.b.pausedTo, d.b.window)
+	if len(pick[Reject](actions)) != 1 || d.b.backoffEndsAt > d.now || d.b.window < maxWindow {
+		t.Errorf("%v, paused to %v and a window of %v", actions, d.b.backoffEndsAt, d.b.window)
 	}
 }
 
 // within holds an attempt to its request's bound and to the fleet's word.
 func (w *world) within(q *ZoneConstraint, zone string) {
-	if q != nil && q.part(zone) == 0 {
+	if q != nil && q.shareOf(zone) == 0 {
 		w.t.Fatalf("sent into %s, bound by %+v", zone, q)
 	}
 	if w.d.now >= w.wordTo {
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -19,40 +19,40 @@
 	// lowest and highest bound the load below which a server passes as low.
 	// Under lowest there is nothing to even out; a server above highest would
 	// be pushed over by a few more connections, whatever the fleet's usual is.
-	lowest, highest = 0.3, 0.7
+	minLowLoad, maxLowLoad = 0.3, 0.7
 	// fullLoad is the load at which one more connection may harm all of a server's:
 	// served well up to its capacity, it serves nobody in time beyond, and loads
 	// change after placement. Drawing ends in a wait rather than there.
 	fullLoad = 0.85
 	// redraws bounds the draws that thinning or skipping may void in a row.
-	redraws = 16
+	maxVoidDraws = 16
 	// blame is how long an error or a failed connection is held against a
 	// server: longer than one retry, shorter than most troubles.
-	blame = 5 * time.Second
+	faultDecay = 5 * time.Second
 )
 
 // draw goes on drawing for r until a probe must be waited for or a server is
 // decided on.
 func (b *Balancer) draw(r *request) {
-	for r.draws < trials {
-		s := b.pick(r)
+	for r.drawCount < trials {
+		s := b.drawServer(r)
 		if s == nil {
 			break
 		}
-		r.draws++
-		if slices.Contains(r.drawn, s) {
+		r.drawCount++
+		if slices.Contains(r.drawnServers, s) {
 			continue // drawn with replacement: its answer is known
 		}
-		r.drawn = append(r.drawn, s)
-		if b.probesTell() {
-			b.ask(r, s)
+		r.drawnServers = append(r.drawnServers, s)
+		if b.canProbe() {
+			b.awaitProbe(r, s)
 			return
 		}
-		if b.consider(r, s) {
+		if b.considerDraw(r, s) {
 			return
 		}
 	}
-	b.decide(r)
+	b.finishRound(r)
 }
 
 // pick draws a server uniformly from the ready ones. Draws of servers that r
@@ -60,21 +60,21 @@
 // zones: each instance thins by itself, so that together they keep to a cold server's
 // part. As void draws are drawn again, a fleet that is mostly cold or faulty
 // still serves.
-func (b *Balancer) pick(r *request) *server {
+func (b *Balancer) drawServer(r *request) *server {
 	if len(b.ready) == 0 {
 		return nil
 	}
-	for range redraws {
+	for range maxVoidDraws {
 		s := b.ready[b.rng.IntN(len(b.ready))]
-		if !b.allowed(r, s) {
+		if !b.isAllowed(r, s) {
 			continue
 		}
-		if p := b.share(r, s); p >= 1 || b.rng.Float64() < p {
+		if p := b.drawShare(r, s); p >= 1 || b.rng.Float64() < p {
 			return s
 		}
 	}
-	if r.Constraint != nil || b.zoned && b.now < b.sharedTo {
-		return b.pickAmong(r)
+	if r.Constraint != nil || b.hasZoneLimits && b.now < b.leaseEndsAt {
+		return b.drawWeighted(r)
 	}
 	return nil
 }
@@ -82,26 +82,28 @@
 // share is the part of its draws for r that a server is left with where r is allowed: by
 // what it can bear, by its zone and by r's bound. Faults count against the server that has
 // the fewest: where all have some, none is better left out.
-func (b *Balancer) share(r *request, s *server) float64 {
-	if !b.mayTake(s) {
+func (b *Balancer) drawShare(r *request, s *server) float64 {
+	if !b.hasCapacity(s) {
 		return 0
 	}
-	p := b.trust(s) * b.bound(r, s)
-	if w := b.warmth(s); w < 1 && b.now >= b.sharedTo { // else its tokens are all that it gets
-		p *= min(w, b.coldShare(w))
+	p := b.faultShare(s) * b.constraintShare(r, s)
+	if w := b.capacityShare(s); w < 1 && b.now >= b.leaseEndsAt { // else its tokens are all that it gets
+		p *= min(w, b.coldDrawShare(w))
 	}
 	return p
 }
 
 // trust is the part of its draws that faults leave to s.
-func (b *Balancer) trust(s *server) float64 { return min((1+b.faults)/(1+s.faults.left(b.now)), 1) }
+func (b *Balancer) faultShare(s *server) float64 {
+	return min((1+b.fewestFaults)/(1+s.recentFaults.value(b.now)), 1)
+}
 
 // fewest sees how many faults the ready server has that has the fewest.
-func (b *Balancer) fewest() {
-	b.faults = 0
+func (b *Balancer) updateFewestFaults() {
+	b.fewestFaults = 0
 	for i, s := range b.ready {
-		if f := s.faults.left(b.now); i == 0 || f < b.faults {
-			b.faults = f
+		if f := s.recentFaults.value(b.now); i == 0 || f < b.fewestFaults {
+			b.fewestFaults = f
 		}
 	}
 }
@@ -109,7 +111,7 @@
 // Avoided counts the listed servers that are left out of all or of most draws.
 func (b *Balancer) AvoidedServers() (n int) {
 	for _, s := range b.servers {
-		if s.State != Gone && (s.slot < 0 || b.trust(s)*b.bound(&request{}, s) < 0.5) {
+		if s.State != Gone && (s.readyIndex < 0 || b.faultShare(s)*b.constraintShare(&request{}, s) < 0.5) {
 			n++
 		}
 	}
@@ -119,58 +121,58 @@
 // level cuts a load into whole levels. The unit is half of the fleet's usual
 // load, within bounds, so that levels 0 and 1 mean not above the usual.
 func (b *Balancer) level(load float64) int {
-	unit := min(max(b.usual, lowest), highest) / 2
+	unit := min(max(b.meanLoad, minLowLoad), maxLowLoad) / 2
 	return int(load / unit)
 }
 
 // consider weighs a drawn server and places r if the draw decides, which it
 // does at level 0 or 1.
-func (b *Balancer) consider(r *request, s *server) bool {
-	load := b.loadOf(s)
-	if load < 0 || !b.mayTake(s) {
+func (b *Balancer) considerDraw(r *request, s *server) bool {
+	load := b.estimatedLoad(s)
+	if load < 0 || !b.hasCapacity(s) {
 		return false
 	}
-	if r.best == nil || load < r.bestLoad {
-		r.best, r.bestLoad = s, load
+	if r.bestServer == nil || load < r.bestLoad {
+		r.bestServer, r.bestLoad = s, load
 	}
 	if b.level(load) > 1 {
 		return false
 	}
-	b.settleOn(r, s)
+	b.placeWithAffinity(r, s)
 	return true
 }
 
 // decide ends a round of draws: the least loaded of them takes r, unless even
 // that one is full.
-func (b *Balancer) decide(r *request) {
-	s := r.best
+func (b *Balancer) finishRound(r *request) {
+	s := r.bestServer
 	if s == nil {
-		s, r.bestLoad = b.remembered(r)
+		s, r.bestLoad = b.leastReported(r)
 	}
-	if s == nil || s.slot < 0 || r.bestLoad >= fullLoad {
-		if r.Constraint != nil && b.listed { // others may go elsewhere: it tells nothing of the fleet
+	if s == nil || s.readyIndex < 0 || r.bestLoad >= fullLoad {
+		if r.Constraint != nil && b.listReceived { // others may go elsewhere: it tells nothing of the fleet
 			b.finish(r)
 			return
 		}
-		b.congested()
+		b.reduceWindow()
 		b.enqueue(r)
 		return
 	}
-	b.settleOn(r, s)
+	b.placeWithAffinity(r, s)
 }
 
 // remembered stands in where no draw was answered: of the servers drawn, the
 // one with the least load by its last report. One that never reported passes
 // as just not full: probes may be dead while servers work.
-func (b *Balancer) remembered(r *request) (*server, float64) {
+func (b *Balancer) leastReported(r *request) (*server, float64) {
 	var best *server
 	least := math.Inf(1)
-	for _, s := range r.drawn {
-		load := b.loadOf(s)
+	for _, s := range r.drawnServers {
+		load := b.estimatedLoad(s)
 		if load < 0 {
-			load = highest
+			load = maxLowLoad
 		}
-		if load < least && b.mayTake(s) {
+		if load < least && b.hasCapacity(s) {
 			best, least = s, load
 		}
 	}
--- a/balance/draw_test.go
+++ b/balance/draw_test.go
@@ -36,7 +36,7 @@
 	d := newBench(t, settings(), "a", "b", "c", "d")
 	for _, s := range d.b.ready {
 		for range 20 {
-			d.b.fault(s)
+			d.b.recordFault(s)
 		}
 	}
 	d.run(d.now + time.Second)
@@ -47,9 +47,9 @@
 	}
 	worst := d.b.ready[0] // one that is worse than the rest is still left out
 	for range 200 {
-		d.b.fault(worst)
+		d.b.recordFault(worst)
 	}
-	if share := d.b.share(&request{}, worst); share > 0.1 {
+	if share := d.b.drawShare(&request{}, worst); share > 0.1 {
 		t.Errorf("the worst is left %.2f of its draws", share)
 	}
 }
@@ -64,7 +64,7 @@
 		{1.2, 0.69, 1}, {1.2, 0.71, 2}, // a full one: nearly full never passes as low
 	}
 	for _, tt := range tests {
-		b := &Balancer{usual: tt.usual}
+		b := &Balancer{meanLoad: tt.usual}
 		if got := b.level(tt.load); got != tt.want {
 			t.Errorf("level of %.2f at usual %.2f is %d, want %d", tt.load, tt.usual, got, tt.want)
 		}
@@ -97,7 +97,7 @@
 	r := &request{class: d.b.classes["c"]}
 	counts := map[string]int{}
 	for range n * each {
-		counts[d.b.pick(r).ID]++
+		counts[d.b.drawServer(r).ID]++
 	}
 	chi := 0.0
 	for _, id := range ids {
@@ -116,12 +116,12 @@
 		d.answer("a", 1)
 	}
 	b, s := d.b, d.b.servers["a"]
-	s.load = 0.72 // a lucky reading
-	if got := b.loadOf(s); got < fullLoad {
+	s.reportedLoad = 0.72 // a lucky reading
+	if got := b.estimatedLoad(s); got < fullLoad {
 		t.Errorf("load %.2f, want at least %.2f", got, fullLoad)
 	}
-	s.load = 0.1 // room beyond doubt
-	if got := b.loadOf(s); got >= fullLoad {
+	s.reportedLoad = 0.1 // room beyond doubt
+	if got := b.estimatedLoad(s); got >= fullLoad {
 		t.Errorf("load %.2f, want under %.2f", got, fullLoad)
 	}
 }
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -11,59 +11,59 @@
 // retry is the pause after a first call that failed; each further one is four times as long,
 // and none over settle. each is what one of the calls of all instances at one moment takes:
 // docs/notes/lists.md derives them.
-const retry, each = settle / 8, settle / 300
+const minSubscribeBackoff, subscribeSpacing = reportDelay / 8, reportDelay / 300
 
 // askFirst takes a start, which may be all instances', for the end of a watch.
-func (b *Balancer) askFirst() {
-	if b.set.Instances > 1 && !b.set.SubscribeImmediately {
+func (b *Balancer) startSubscription() {
+	if b.settings.Instances > 1 && !b.settings.SubscribeImmediately {
 		b.subscribed = true
-		b.listUpdate(ListUpdate{Kind: ListFailed})
+		b.handleListUpdate(ListUpdate{Kind: ListFailed})
 	}
-	b.askList()
+	b.subscribeIfDue()
 }
 
-func (b *Balancer) askList() {
-	if b.set.SubscribeRequired && !b.subscribed && b.now >= b.askAt {
-		b.askAt = b.now + max(b.set.SubscribeTimeout, time.Second) // should the answer never come
-		b.do(Subscribe{})
+func (b *Balancer) subscribeIfDue() {
+	if b.settings.SubscribeRequired && !b.subscribed && b.now >= b.nextSubscribeAt {
+		b.nextSubscribeAt = b.now + max(b.settings.SubscribeTimeout, time.Second) // should the answer never come
+		b.emit(Subscribe{})
 	}
 }
 
-func (b *Balancer) listUpdate(e ListUpdate) {
+func (b *Balancer) handleListUpdate(e ListUpdate) {
 	if e.Kind == ListFailed {
 		// A watch that has ended is no list that is down: it is asked at once, unless it had
 		// just begun. The back-off is for calls. However long they have failed, two fit into
 		// the time after which all that a list has to tell counts as told once it is back.
-		others := time.Duration(b.set.Instances - 1)
-		pause := max(b.jitter(min(others*each, settle)/2, 1), b.askAt-b.now)
+		others := time.Duration(b.settings.Instances - 1)
+		pause := max(b.jitter(min(others*subscribeSpacing, reportDelay)/2, 1), b.nextSubscribeAt-b.now)
 		if !b.subscribed {
-			pause = b.jitter(min(retry<<min(2*b.failures, 16), settle), 0.25)
-			b.failures++
+			pause = b.jitter(min(minSubscribeBackoff<<min(2*b.subscribeFailures, 16), reportDelay), 0.25)
+			b.subscribeFailures++
 		}
-		b.subscribed, b.askAt = false, b.now+pause
-		b.do(SetTimer{Delay: pause + b.set.Tick})
+		b.subscribed, b.nextSubscribeAt = false, b.now+pause
+		b.emit(SetTimer{Delay: pause + b.settings.Tick})
 		return
 	}
 	if e.Kind != ListCached && !b.subscribed {
-		b.subscribed, b.failures, b.askAt = true, 0, b.now+settle
+		b.subscribed, b.subscribeFailures, b.nextSubscribeAt = true, 0, b.now+reportDelay
 	}
 	if e.Kind != ListDelta {
-		b.dropUnlisted(e.Entries)
+		b.removeUnlisted(e.Entries)
 	}
-	b.listed = b.listed || e.Kind == ListFull || len(e.Entries) > 0
+	b.listReceived = b.listReceived || e.Kind == ListFull || len(e.Entries) > 0
 	none := len(b.ready) == 0
 	for _, entry := range e.Entries {
-		b.entry(entry)
+		b.updateServer(entry)
 	}
 	if none && len(b.ready) > 0 {
-		b.pausedTo = b.now
-		b.pump()
+		b.backoffEndsAt = b.now
+		b.admitQueued()
 	}
-	b.giveUpHopeless()
+	b.finishUnplaceable()
 }
 
 // dropUnlisted marks servers gone that a whole list no longer names.
-func (b *Balancer) dropUnlisted(entries []ServerEntry) {
+func (b *Balancer) removeUnlisted(entries []ServerEntry) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
@@ -72,48 +72,48 @@
 		if !listed[id] {
 			gone := b.servers[id].ServerEntry
 			gone.State = Gone
-			b.entry(gone)
+			b.updateServer(gone)
 		}
 	}
 }
 
 // entry takes what the list says of one server.
-func (b *Balancer) entry(e ServerEntry) {
+func (b *Balancer) updateServer(e ServerEntry) {
 	s := b.servers[e.ID]
 	if s == nil {
 		if e.State == Gone {
 			return
 		}
-		s = &server{slot: -1, load: -1, hash: hash(e.ID)}
-		s.placed.span, s.faults.span, s.sent.span = settle, blame, b.rate[0].span
-		s.asked.span, s.failed.span = evidence, evidence
+		s = &server{readyIndex: -1, reportedLoad: -1, ringHash: ringHash(e.ID)}
+		s.placedLoad.timeConstant, s.recentFaults.timeConstant, s.recentAttempts.timeConstant = reportDelay, faultDecay, b.rate[0].timeConstant
+		s.observedAttempts.timeConstant, s.observedFailures.timeConstant = observationDecay, observationDecay
 		b.servers[e.ID] = s
 	}
 	if e.StartedAt > s.StartedAt { // another process: what is known is the old one's
-		s.load, s.each, s.probing = -1, 0, false
-		s.placed.sum, s.faults.sum, s.sent.sum = 0, 0, 0
-		s.asked.sum, s.failed.sum, s.used, s.tokens = 0, 0, 0, 0
+		s.reportedLoad, s.loadPerConnection, s.probeInFlight = -1, 0, false
+		s.placedLoad.sum, s.recentFaults.sum, s.recentAttempts.sum = 0, 0, 0
+		s.observedAttempts.sum, s.observedFailures.sum, s.tokensUsed, s.tokens = 0, 0, 0, 0
 	}
 	if e.State == Draining && s.State != Draining {
-		for _, r := range s.conns {
-			b.leave(r)
+		for _, r := range s.connections {
+			b.scheduleMigration(r)
 		}
 	}
 	s.ServerEntry = e
 	switch {
-	case e.State == Ready && s.slot < 0:
-		s.slot = len(b.ready)
+	case e.State == Ready && s.readyIndex < 0:
+		s.readyIndex = len(b.ready)
 		b.ready = append(b.ready, s)
-		i, _ := slices.BinarySearchFunc(b.ring, s.hash, byHash)
+		i, _ := slices.BinarySearchFunc(b.ring, s.ringHash, compareRingHash)
 		b.ring = slices.Insert(b.ring, i, s)
-	case e.State != Ready && s.slot >= 0:
+	case e.State != Ready && s.readyIndex >= 0:
 		last := b.ready[len(b.ready)-1]
-		b.ready[s.slot], last.slot = last, s.slot
+		b.ready[s.readyIndex], last.readyIndex = last, s.readyIndex
 		b.ready = b.ready[:len(b.ready)-1]
 		b.ring = slices.DeleteFunc(b.ring, func(t *server) bool { return t == s })
-		s.slot = -1
+		s.readyIndex = -1
 	}
-	if e.State == Gone && len(s.conns) == 0 {
+	if e.State == Gone && len(s.connections) == 0 {
 		delete(b.servers, e.ID)
 	}
 }
--- a/balance/fading.go
+++ b/balance/fading.go
@@ -9,52 +9,54 @@
 )
 
 // fading is a sum whose parts decay exponentially.
-type fading struct {
-	span time.Duration
-	sum  float64
-	at   time.Duration // when sum was right
+type decayingCounter struct {
+	timeConstant time.Duration
+	sum          float64
+	updatedAt    time.Duration // when sum was right
 }
 
-func (f *fading) left(now time.Duration) float64 { return f.sum * decay(now-f.at, f.span) }
+func (f *decayingCounter) value(now time.Duration) float64 {
+	return f.sum * decay(now-f.updatedAt, f.timeConstant)
+}
 
-func (f *fading) add(now time.Duration, n float64) { f.sum, f.at = f.left(now)+n, now }
+func (f *decayingCounter) add(now time.Duration, n float64) { f.sum, f.updatedAt = f.value(now)+n, now }
 
 // perSecond brings the sum up to date and returns it as a rate.
-func (f *fading) perSecond(now time.Duration) float64 {
+func (f *decayingCounter) rate(now time.Duration) float64 {
 	f.add(now, 0)
-	return f.sum / f.span.Seconds()
+	return f.sum / f.timeConstant.Seconds()
 }
 
 func decay(age, span time.Duration) float64 { return math.Exp(-float64(age) / float64(span)) }
 
 // takeBack takes off what r weighs where it was sent: that attempt has come to nothing.
-func (r *request) takeBack(now time.Duration) (was *server) {
-	was, r.at = r.at, nil
+func (r *request) releasePlacedLoad(now time.Duration) (was *server) {
+	was, r.server = r.server, nil
 	if was != nil {
-		was.placed.add(now, -r.weight*decay(now-r.since, was.placed.span))
+		was.placedLoad.add(now, -r.placedWeight*decay(now-r.startedAt, was.placedLoad.timeConstant))
 	}
 	return was
 }
 
 // learnTrip follows the usual time of a probe and its deviation.
-func (b *Balancer) learnTrip(t float64) {
-	if b.rtt == 0 {
-		b.rtt, b.rttDev = t, t/2
+func (b *Balancer) recordProbeRTT(t float64) {
+	if b.probeRTT == 0 {
+		b.probeRTT, b.probeRTTDeviation = t, t/2
 		return
 	}
-	b.rttDev += (math.Abs(t-b.rtt) - b.rttDev) / 16
-	b.rtt += (t - b.rtt) / 16
+	b.probeRTTDeviation += (math.Abs(t-b.probeRTT) - b.probeRTTDeviation) / 16
+	b.probeRTT += (t - b.probeRTT) / 16
 }
 
 // fault holds a failure against s for a while.
-func (b *Balancer) fault(s *server) {
-	s.faults.add(b.now, 1)
-	s.failed.add(b.now, 1)
+func (b *Balancer) recordFault(s *server) {
+	s.recentFaults.add(b.now, 1)
+	s.observedFailures.add(b.now, 1)
 }
 
 // hash is FNV-1a with a final mix, which spreads short words that differ in
 // their last letters only.
-func hash(word string) uint64 {
+func ringHash(word string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := range len(word) {
 		h = (h ^ uint64(word[i])) * 1099511628211
@@ -63,4 +65,4 @@
 	return h ^ h>>33
 }
 
-func byHash(s *server, h uint64) int { return cmp.Compare(s.hash, h) }
+func compareRingHash(s *server, h uint64) int { return cmp.Compare(s.ringHash, h) }
--- a/balance/granted.go
+++ b/balance/granted.go
@@ -11,7 +11,7 @@
 
 // evidence is how long what this instance saw of a server is told to others: they
 // are to hear of what fails now, and have a memory of their own.
-const evidence = 2 * time.Second
+const observationDecay = 2 * time.Second
 
 // Granted is what the whole fleet lets this instance spend, where instances share their
 // budgets: in place of what it would reckon by itself, for as long as For says.
@@ -72,20 +72,20 @@
 // take part with in them, for its peers.
 func (b *Balancer) QuotaUsage(now time.Duration) QuotaUsage {
 	b.now = max(b.now, now)
-	sp := QuotaUsage{Period: b.half, FirstAttempts: b.rate[1].left(b.now), Retries: b.again.left(b.now)}
+	sp := QuotaUsage{Period: b.quotaPeriod, FirstAttempts: b.rate[1].value(b.now), Retries: b.recentRetries.value(b.now)}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		x := ServerUsage{ID: id, Zone: s.Zone, Load: s.load, StartedAt: s.StartedAt, Used: s.used,
-			RecentAttempts: s.asked.left(b.now), RecentFailures: s.failed.left(b.now)}
-		if w := b.warmth(s); w < 1 && s.slot >= 0 {
+		x := ServerUsage{ID: id, Zone: s.Zone, Load: s.reportedLoad, StartedAt: s.StartedAt, Used: s.tokensUsed,
+			RecentAttempts: s.observedAttempts.value(b.now), RecentFailures: s.observedFailures.value(b.now)}
+		if w := b.capacityShare(s); w < 1 && s.readyIndex >= 0 {
 			x.WarmingUp = true
-			x.ColdBudget = b.coldRate(w) / float64(len(b.ready)) * s.sent.span.Seconds()
+			x.ColdBudget = b.coldPlacementRate(w) / float64(len(b.ready)) * s.recentAttempts.timeConstant.Seconds()
 		}
 		sp.Servers = append(sp.Servers, x)
 	}
-	for _, name := range slices.Sorted(maps.Keys(b.zones)) {
-		if z := b.zones[name]; z.tokens >= 0 {
-			sp.Zones = append(sp.Zones, ZoneUsage{Zone: name, Used: z.used})
+	for _, name := range slices.Sorted(maps.Keys(b.zoneLimits)) {
+		if z := b.zoneLimits[name]; z.tokens >= 0 {
+			sp.Zones = append(sp.Zones, ZoneUsage{Zone: name, Used: z.tokensUsed})
 		}
 	}
 	return sp
@@ -93,22 +93,22 @@
 
 // shunned is how many faults a verdict of the fleet counts as: a tenth of its draws is left
 // to a server that all others have none of, enough to see it recover.
-const shunned = 9.0
+const ejectionFaults = 9.0
 
 // granted takes what the fleet lets this instance spend. Tokens of an earlier half are
 // void; of the same half only what is said of them is news.
-func (b *Balancer) granted(g QuotaLease) {
-	if g.Period < b.half || !(g.RetryBudget >= 0) {
+func (b *Balancer) applyQuotaLease(g QuotaLease) {
+	if g.Period < b.quotaPeriod || !(g.RetryBudget >= 0) {
 		return
 	}
 	for _, s := range b.servers {
 		s.tokens = 0
-		if g.Period > b.half {
-			s.used = 0
+		if g.Period > b.quotaPeriod {
+			s.tokensUsed = 0
 		}
 	}
-	shut := b.grantZones(g)
-	b.half, b.sharedTo, b.tokensTo, b.retries = g.Period, b.now+g.LeaseDuration, g.TokensExpireAt, g.RetryBudget
+	shut := b.applyZoneQuotas(g)
+	b.quotaPeriod, b.leaseEndsAt, b.tokensExpireAt, b.retryBudget = g.Period, b.now+g.LeaseDuration, g.TokensExpireAt, g.RetryBudget
 	for _, t := range g.Servers {
 		if s := b.servers[t.ID]; s != nil && s.StartedAt == t.StartedAt {
 			s.tokens = max(t.Tokens, 0)
@@ -116,45 +116,45 @@
 	}
 	for _, id := range g.EjectedServers {
 		if s := b.servers[id]; s != nil {
-			s.faults.add(b.now, max(0, shunned-s.faults.left(b.now)))
+			s.recentFaults.add(b.now, max(0, ejectionFaults-s.recentFaults.value(b.now)))
 		}
 	}
 	if shut {
-		b.giveUpHopeless()
+		b.finishUnplaceable()
 	}
 }
 
 // grantZones takes what is said of zones, and tells whether one is shut that was not.
-func (b *Balancer) grantZones(g QuotaLease) (shut bool) {
-	before, bound := b.zones, b.zoned && b.now < b.sharedTo
-	b.zones = make(map[string]*zone, len(before))
-	if g.Period == b.half {
+func (b *Balancer) applyZoneQuotas(g QuotaLease) (shut bool) {
+	before, bound := b.zoneLimits, b.hasZoneLimits && b.now < b.leaseEndsAt
+	b.zoneLimits = make(map[string]*zoneLimit, len(before))
+	if g.Period == b.quotaPeriod {
 		for name, z := range before {
-			b.zone(name).used = z.used
+			b.zoneLimitFor(name).tokensUsed = z.tokensUsed
 		}
 	}
 	for _, t := range g.Zones {
-		z := b.zone(t.Zone)
-		z.share, z.tokens = clamp(t.Share), t.Tokens
+		z := b.zoneLimitFor(t.Zone)
+		z.share, z.tokens = clampShare(t.Share), t.Tokens
 		was := before[t.Zone]
 		shut = shut || z.share == 0 && (!bound || was == nil || was.share > 0)
 	}
-	b.zoned, b.over = len(g.Zones) > 0, clamp(g.ShedFraction)
+	b.hasZoneLimits, b.shedFraction = len(g.Zones) > 0, clampShare(g.ShedFraction)
 	return shut
 }
 
 // zone returns what is kept of a zone, which nothing bounds unless a grant has said so.
-func (b *Balancer) zone(name string) *zone {
-	z := b.zones[name]
+func (b *Balancer) zoneLimitFor(name string) *zoneLimit {
+	z := b.zoneLimits[name]
 	if z == nil {
-		z = &zone{share: 1, tokens: -1}
-		b.zones[name] = z
+		z = &zoneLimit{share: 1, tokens: -1}
+		b.zoneLimits[name] = z
 	}
 	return z
 }
 
 // clamp brings a share into 0 to 1. What is no number is 0.
-func clamp(share float64) float64 {
+func clampShare(share float64) float64 {
 	if !(share > 0) {
 		return 0
 	}
--- a/balance/granted_test.go
+++ b/balance/granted_test.go
@@ -122,7 +122,7 @@
 			t.Errorf("%s: %.1f failures of its own are told, want none", s.ID, s.RecentFailures)
 		}
 	}
-	d.b.fault(d.b.servers["c"])
+	d.b.recordFault(d.b.servers["c"])
 	for _, s := range d.b.QuotaUsage(d.now).Servers {
 		if (s.RecentFailures > 0) != (s.ID == "c") {
 			t.Errorf("%s: %.1f failures told", s.ID, s.RecentFailures)
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -12,7 +12,7 @@
 )
 
 // house is the period of housekeeping, in which nothing grows with the fleet.
-const house = 250 * time.Millisecond
+const maintenanceInterval = 250 * time.Millisecond
 
 // New returns a Balancer for the given settings, which it checks.
 func New(seed uint64, set Settings) (*Balancer, error) {
@@ -20,14 +20,14 @@
 		return nil, err
 	}
 	b := &Balancer{
-		rng:      rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		servers:  map[string]*server{},
-		groups:   map[string]*group{},
-		requests: map[string]*request{},
-		bySeq:    map[uint64]*request{},
-		window:   widest,
+		rng:                rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers:            map[string]*server{},
+		groups:             map[string]*group{},
+		requests:           map[string]*request{},
+		requestsBySequence: map[uint64]*request{},
+		window:             maxWindow,
 	}
-	b.tune(set)
+	b.applySettings(set)
 	return b, nil
 }
 
@@ -35,96 +35,96 @@
 func (b *Balancer) Handle(now time.Duration, ev Event, actions []Action) []Action {
 	// A clock that steps back stands still here: what fades would grow beyond all
 	// bounds, and never be a number again.
-	b.now, b.out = max(b.now, now), actions
-	b.begin()
+	b.now, b.actions = max(b.now, now), actions
+	b.start()
 	switch e := ev.(type) {
 	case ListUpdate:
-		b.listUpdate(e)
+		b.handleListUpdate(e)
 	case Request:
-		b.arrive(e)
+		b.handleRequest(e)
 	case OpenConnection:
-		b.adopt(e)
+		b.adoptConnection(e)
 	case ConnectionEstablished:
-		b.stands(e)
+		b.handleEstablished(e)
 	case AttemptEnded:
-		b.ended(e)
+		b.handleAttemptEnded(e)
 	case ClientGone:
 		if r := b.requests[e.ID]; r != nil {
-			if r.phase == sent {
-				r.takeBack(b.now)
+			if r.phase == attempting {
+				r.releasePlacedLoad(b.now)
 			}
-			b.forget(r)
+			b.forgetRequest(r)
 		}
 	case TimerFired:
-		b.timer(e.Token)
+		b.handleTimer(e.Token)
 	case ProbeResult:
-		b.probed(e)
+		b.handleProbeResult(e)
 	case InheritedState:
-		b.learn(e.LearnedState)
+		b.inheritState(e.LearnedState)
 	case QuotaLease:
-		b.granted(e)
+		b.applyQuotaLease(e)
 	case SettingsChanged:
-		b.tune(e.Settings)
-		b.giveUpHopeless()
+		b.applySettings(e.Settings)
+		b.finishUnplaceable()
 	}
-	out := b.out
-	b.out = nil
+	out := b.actions
+	b.actions = nil
 	return out
 }
 
 // begin runs once, before the first event.
-func (b *Balancer) begin() {
+func (b *Balancer) start() {
 	if b.started {
 		return
 	}
 	b.started = true
-	b.bornAt = b.now
-	b.moves = math.Inf(1) // the first round may use the whole budget
-	b.movesAt, b.rate[0].at, b.rate[1].at = b.now, b.now, b.now
-	b.askFirst()
-	b.do(SetTimer{Delay: house})
+	b.startedAt = b.now
+	b.migrationBudget = math.Inf(1) // the first round may use the whole budget
+	b.migrationBudgetAt, b.rate[0].updatedAt, b.rate[1].updatedAt = b.now, b.now, b.now
+	b.startSubscription()
+	b.emit(SetTimer{Delay: maintenanceInterval})
 }
 
-func (b *Balancer) timer(token uint64) {
+func (b *Balancer) handleTimer(token uint64) {
 	if token == 0 {
-		b.houseKeep()
+		b.maintain()
 		return
 	}
-	r := b.bySeq[token]
-	if r == nil || b.now < r.wake {
+	r := b.requestsBySequence[token]
+	if r == nil || b.now < r.timerAt {
 		return
 	}
 	switch r.phase {
 	case drawing:
-		if r.asked == nil {
+		if r.awaitedServer == nil {
 			return
 		}
-		s := r.asked
-		b.unask(r)
+		s := r.awaitedServer
+		b.stopAwaitingProbe(r)
 		switch {
-		case b.now >= r.giveUp:
+		case b.now >= r.answerDeadline:
 			b.finish(r)
-		case r.homing:
-			b.atHome(r, s, false)
+		case r.tryingAffinity:
+			b.decideAffinityServer(r, s, false)
 		default:
 			b.draw(r)
 		}
 	case queued: // its turn has not come in time
 		b.finish(r)
-	case opened:
-		b.move(r)
+	case established:
+		b.migrate(r)
 	}
 }
 
 // houseKeep does what comes again and again.
-func (b *Balancer) houseKeep() {
-	b.pump()
-	b.askList()
-	if b.now < b.houseAt {
+func (b *Balancer) maintain() {
+	b.admitQueued()
+	b.subscribeIfDue()
+	if b.now < b.maintenanceAt {
 		return
 	}
-	b.houseAt = b.now + house
-	b.do(SetTimer{Delay: house})
-	b.fewest()
-	b.look()
+	b.maintenanceAt = b.now + maintenanceInterval
+	b.emit(SetTimer{Delay: maintenanceInterval})
+	b.updateFewestFaults()
+	b.probeConnectedServers()
 }
--- a/balance/leaver_test.go
+++ b/balance/leaver_test.go
@@ -10,17 +10,17 @@
 // place among those that draw, and its weight at the server that it was sent to. A burst of
 // leavers once made their servers look full for a second.
 func TestLeaversGiveBack(t *testing.T) {
-	for _, stage := range []phase{queued, drawing, sent} {
+	for _, stage := range []requestPhase{queued, drawing, attempting} {
 		d := newBench(t, settings(), "a", "b", "c")
 		loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 		drawsUntilPlaced(d, "stays", loads)
 		d.tell(ConnectionEstablished{ID: "stays", Server: "a", Latency: ms})
-		before := d.b.busy
+		before := d.b.settingUp
 		for i := range 60 {
 			id := fmt.Sprint("r", i)
 			switch stage {
 			case queued:
-				d.b.pausedTo = d.now + time.Minute
+				d.b.backoffEndsAt = d.now + time.Minute
 				d.request(id)
 			case drawing:
 				d.request(id)
@@ -32,15 +32,15 @@
 			}
 			d.tell(ClientGone{ID: id})
 		}
-		if n := d.b.busy; n != before || len(d.b.queue) > 0 || len(d.b.requests) != 1 || d.b.open != 1 {
-			t.Errorf("stage %d: %d are busy, %d wait, %d are known, %d stand", stage, n, len(d.b.queue), len(d.b.requests), d.b.open)
+		if n := d.b.settingUp; n != before || len(d.b.queue) > 0 || len(d.b.requests) != 1 || d.b.openConnections != 1 {
+			t.Errorf("stage %d: %d are busy, %d wait, %d are known, %d stand", stage, n, len(d.b.queue), len(d.b.requests), d.b.openConnections)
 		}
 		for id, s := range d.b.servers {
-			if left := s.placed.left(d.now); left > s.each+1e-9 {
+			if left := s.placedLoad.value(d.now); left > s.loadPerConnection+1e-9 {
 				t.Errorf("stage %d: leavers weigh %.3f at %s", stage, left, id)
 			}
-			if len(s.waiting) > 0 {
-				t.Errorf("stage %d: %d wait for %s", stage, len(s.waiting), id)
+			if len(s.waitingRequests) > 0 {
+				t.Errorf("stage %d: %d wait for %s", stage, len(s.waitingRequests), id)
 			}
 		}
 	}
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -42,55 +42,55 @@
 // Recall tells what this process has learned, for another one of this instance.
 func (b *Balancer) LearnedState(now time.Duration) LearnedState {
 	b.now = max(b.now, now)
-	m := LearnedState{Age: b.now - b.bornAt, MeanLoad: b.usual, LoadSamples: b.answers, ProbeRTT: b.rtt, ProbeRTTDeviation: b.rttDev,
-		RecentPlacements: b.rate[0].left(b.now), BaselinePlacements: b.rate[1].left(b.now), MeanHint: b.hint, HintSamples: b.hints}
+	m := LearnedState{Age: b.now - b.startedAt, MeanLoad: b.meanLoad, LoadSamples: b.loadSamples, ProbeRTT: b.probeRTT, ProbeRTTDeviation: b.probeRTTDeviation,
+		RecentPlacements: b.rate[0].value(b.now), BaselinePlacements: b.rate[1].value(b.now), MeanHint: b.meanHint, HintSamples: b.hintSamples}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		m.Servers = append(m.Servers, LearnedServer{ID: id, StartedAt: s.StartedAt, Load: s.load, LoadPerConnection: s.each,
-			PlacedLoad: s.placed.left(b.now), Faults: s.faults.left(b.now), RecentAttempts: s.sent.left(b.now)})
+		m.Servers = append(m.Servers, LearnedServer{ID: id, StartedAt: s.StartedAt, Load: s.reportedLoad, LoadPerConnection: s.loadPerConnection,
+			PlacedLoad: s.placedLoad.value(b.now), Faults: s.recentFaults.value(b.now), RecentAttempts: s.recentAttempts.value(b.now)})
 	}
 	return m
 }
 
 // learn adds what another process has learned to what this one has. Of a server that has
 // started anew nothing is known.
-func (b *Balancer) learn(m LearnedState) {
-	if !m.sound() {
+func (b *Balancer) inheritState(m LearnedState) {
+	if !m.isPlausible() {
 		return
 	}
-	b.bornAt = min(b.bornAt, b.now-m.Age)
+	b.startedAt = min(b.startedAt, b.now-m.Age)
 	b.rate[0].add(b.now, m.RecentPlacements)
 	b.rate[1].add(b.now, m.BaselinePlacements)
-	b.usual, b.answers = mean(b.usual, b.answers, m.MeanLoad, m.LoadSamples, samples)
-	b.hint, b.hints = mean(b.hint, b.hints, m.MeanHint, m.HintSamples, 64)
-	if b.rtt == 0 {
-		b.rtt, b.rttDev = m.ProbeRTT, m.ProbeRTTDeviation
+	b.meanLoad, b.loadSamples = combineMeans(b.meanLoad, b.loadSamples, m.MeanLoad, m.LoadSamples, maxLoadSamples)
+	b.meanHint, b.hintSamples = combineMeans(b.meanHint, b.hintSamples, m.MeanHint, m.HintSamples, 64)
+	if b.probeRTT == 0 {
+		b.probeRTT, b.probeRTTDeviation = m.ProbeRTT, m.ProbeRTTDeviation
 	}
 	for _, k := range m.Servers {
 		s := b.servers[k.ID]
 		if s == nil || s.StartedAt != k.StartedAt {
 			continue
 		}
-		s.sent.add(b.now, k.RecentAttempts)
-		s.placed.add(b.now, k.PlacedLoad)
-		s.faults.add(b.now, max(0, k.Faults-s.faults.left(b.now))) // both may mean the same
-		if s.load < 0 {
-			s.load, s.each = k.Load, k.LoadPerConnection
+		s.recentAttempts.add(b.now, k.RecentAttempts)
+		s.placedLoad.add(b.now, k.PlacedLoad)
+		s.recentFaults.add(b.now, max(0, k.Faults-s.recentFaults.value(b.now))) // both may mean the same
+		if s.reportedLoad < 0 {
+			s.reportedLoad, s.loadPerConnection = k.Load, k.LoadPerConnection
 		}
 	}
 }
 
 // sound tells whether m can be true: it comes from outside.
-func (m *LearnedState) sound() bool {
+func (m *LearnedState) isPlausible() bool {
 	figures := []float64{m.MeanLoad, m.LoadSamples, m.ProbeRTT, m.ProbeRTTDeviation, m.RecentPlacements, m.BaselinePlacements, m.MeanHint, m.HintSamples}
 	for _, k := range m.Servers {
 		figures = append(figures, k.Load+1, k.LoadPerConnection, k.PlacedLoad, k.Faults, k.RecentAttempts) // -1 is no load
 	}
-	return m.Age >= 0 && !slices.ContainsFunc(figures, func(x float64) bool { return !(x >= 0 && x <= mostConns) })
+	return m.Age >= 0 && !slices.ContainsFunc(figures, func(x float64) bool { return !(x >= 0 && x <= maxPlausibleConnections) })
 }
 
 // mean is that of two means, each seen in so many, and in how many it is, up to a most.
-func mean(x, n, y, m, most float64) (float64, float64) {
+func combineMeans(x, n, y, m, most float64) (float64, float64) {
 	if m == 0 {
 		return x, n
 	}
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -28,10 +28,10 @@
 		return n
 	}
 	n := next(m)
-	if n.b.AvoidedServers() != 1 || n.b.usual != d.b.usual || n.b.rtt != d.b.rtt {
-		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.AvoidedServers(), n.b.usual, n.b.rtt, d.b.usual, d.b.rtt)
+	if n.b.AvoidedServers() != 1 || n.b.meanLoad != d.b.meanLoad || n.b.probeRTT != d.b.probeRTT {
+		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.AvoidedServers(), n.b.meanLoad, n.b.probeRTT, d.b.meanLoad, d.b.probeRTT)
 	}
-	sent := func(b *Balancer, id string) float64 { return b.servers[id].sent.left(n.now) }
+	sent := func(b *Balancer, id string) float64 { return b.servers[id].recentAttempts.value(n.now) }
 	if sent(n.b, "a") == 0 || sent(n.b, "a") != sent(d.b, "a") || sent(n.b, "c") != 0 {
 		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.b, "a"), sent(d.b, "a"), sent(n.b, "c"))
 	}
@@ -48,7 +48,7 @@
 		bad := m
 		bad.Servers = slices.Clone(m.Servers)
 		change(&bad)
-		if n := next(bad); sent(n.b, "a") != 0 || n.b.usual != 0 || n.b.AvoidedServers() != 0 {
+		if n := next(bad); sent(n.b, "a") != 0 || n.b.meanLoad != 0 || n.b.AvoidedServers() != 0 {
 			t.Errorf("%s: part of it was taken", name)
 		}
 	}
@@ -64,7 +64,7 @@
 	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}
 	fail := func(id string, n int, o Outcome) []Action {
 		r := d.b.requests[id]
-		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.at.ID, Outcome: o, LoadReport: EmptyLoadReport})
+		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.server.ID, Outcome: o, LoadReport: EmptyLoadReport})
 	}
 	retry := func(id string, actions []Action) {
 		t.Helper()
@@ -154,7 +154,7 @@
 		d.now += 100 * ms
 	}
 	for _, s := range d.b.ready {
-		if load, share := d.b.loadOf(s), d.b.share(&request{}, s); !(load < 1) || !(share > 0.05) {
+		if load, share := d.b.estimatedLoad(s), d.b.drawShare(&request{}, s); !(load < 1) || !(share > 0.05) {
 			t.Errorf("%s is at %v and is left %v of its draws", s.ID, load, share)
 		}
 	}
--- a/balance/placement_test.go
+++ b/balance/placement_test.go
@@ -139,7 +139,7 @@
 			return d.list(ListFull, ServerEntry{ID: "a", State: Draining})
 		}},
 		{"the last one leaves while it waits", nil, func(d *bench) []Action {
-			d.b.congested()
+			d.b.reduceWindow()
 			d.request("r")
 			return d.list(ListFull, ServerEntry{ID: "a", State: Draining})
 		}},
@@ -157,15 +157,15 @@
 		}},
 		{"its repeats' window ends while it waits", keyed, func(d *bench) []Action {
 			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
-			d.b.congested()
-			d.b.pausedTo = d.now + time.Second
+			d.b.reduceWindow()
+			d.b.backoffEndsAt = d.now + time.Second
 			d.tell(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, LoadReport: EmptyLoadReport})
 			return d.run(d.now + 102*ms)
 		}},
 		{"its repeats' window ends while it is probed", keyed, func(d *bench) []Action {
 			d.answer(pick[Probe](d.request("r"))[0].Server, 0.1)
 			d.now += 90 * ms
-			asked := pick[Probe](d.tell(AttemptEnded{ID: "r", Server: d.b.requests["r"].at.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
+			asked := pick[Probe](d.tell(AttemptEnded{ID: "r", Server: d.b.requests["r"].server.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
 			d.now += 20 * ms
 			return d.answer(asked[0].Server, 0.1)
 		}},
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -40,9 +40,9 @@
 				tell("a", report(0.5, 20))
 				tell("b", report(0.5, 20))
 			}
-			usual := d.b.usual
+			usual := d.b.meanLoad
 			tell("a", l)
-			if got := d.b.usual; !(math.Abs(got-usual) < 0.2) {
+			if got := d.b.meanLoad; !(math.Abs(got-usual) < 0.2) {
 				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
 			}
 			if believed := l.Utilization >= 0 && l.Utilization < 1; !believed {
@@ -58,11 +58,11 @@
 					t.Error("passed as low")
 				}
 			}
-			if w := d.b.weight(d.b.track(Request{ID: "w", Class: "c"}), d.b.servers["a"]); !(w > 0.001) || w > 0.25 {
+			if w := d.b.addedLoad(d.b.trackRequest(Request{ID: "w", Class: "c"}), d.b.servers["a"]); !(w > 0.001) || w > 0.25 {
 				t.Errorf("a connection weighs %v there", w)
 			}
 			tell("a", report(0.5, 20))
-			if got := d.b.loadOf(d.b.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
+			if got := d.b.estimatedLoad(d.b.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
 				t.Errorf("load %v after a sound report of 0.5", got)
 			}
 		})
@@ -78,7 +78,7 @@
 			hinted := func(id string, hint float64) float64 {
 				d.tell(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
 				d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
-				w := d.b.weight(d.b.requests[id], d.b.servers["a"])
+				w := d.b.addedLoad(d.b.requests[id], d.b.servers["a"])
 				d.tell(ClientGone{ID: id})
 				return w
 			}
@@ -102,7 +102,7 @@
 	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
 		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-		if w := d.b.weight(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
+		if w := d.b.addedLoad(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
 			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
 		}
 	}
@@ -119,7 +119,7 @@
 	d.answer("a", 0.5)
 	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.5, 100)})
 	d.tell(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
-	if w := d.b.weight(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
+	if w := d.b.addedLoad(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
 }
@@ -163,7 +163,7 @@
 	d := newBench(t, settings(), "a")
 	l := report(0.4, 8)
 	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	before := d.b.loadOf(d.b.servers["a"])
+	before := d.b.estimatedLoad(d.b.servers["a"])
 	for i := range 5 {
 		id := string(rune('a' + i))
 		d.request(id)
@@ -175,7 +175,7 @@
 		d.run(d.now + time.Second/4)
 	}
 	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	if got := d.b.loadOf(d.b.servers["a"]); got > before+0.01 {
+	if got := d.b.estimatedLoad(d.b.servers["a"]); got > before+0.01 {
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
 }
--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -39,7 +39,7 @@
 			d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 		}
 		d.now += 10 * time.Second
-		d.b.servers["a"].load = 3
+		d.b.servers["a"].reportedLoad = 3
 		var got []Action
 		if answered {
 			got = d.answer("a", 3)
@@ -78,7 +78,7 @@
 	loads := []float64{0, 1.06, 1} // as its reports tell, one after the other
 	var moved []int
 	for d.now < 5*time.Second && len(moved) < len(loads) {
-		for range pick[Probe](d.run(d.now + house)) {
+		for range pick[Probe](d.run(d.now + maintenanceInterval)) {
 			moved = append(moved, len(pick[Migrate](d.answer("a", loads[len(moved)]))))
 		}
 	}
@@ -94,7 +94,7 @@
 	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
 	probed := map[string]int{}
 	for range 40 {
-		for _, p := range pick[Probe](d.run(d.now + house)) {
+		for _, p := range pick[Probe](d.run(d.now + maintenanceInterval)) {
 			probed[p.Server]++
 			d.answer(p.Server, 0.5)
 		}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -64,12 +64,12 @@
 	}
 	b := w.d.b
 	for _, s := range b.servers {
-		if len(s.waiting) != 0 || len(s.conns) != 0 || s.State == Gone {
-			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waiting), len(s.conns), s.State)
+		if len(s.waitingRequests) != 0 || len(s.connections) != 0 || s.State == Gone {
+			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waitingRequests), len(s.connections), s.State)
 		}
 	}
-	if len(b.requests) != 0 || len(b.bySeq) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.busy != 0 || b.open != 0 {
+	if len(b.requests) != 0 || len(b.requestsBySequence) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.settingUp != 0 || b.openConnections != 0 {
 		t.Errorf("left: %d requests, %d numbers, %d groups, %d busy, %d open",
-			len(b.requests), len(b.bySeq), len(b.groups), b.busy, b.open)
+			len(b.requests), len(b.requestsBySequence), len(b.groups), b.settingUp, b.openConnections)
 	}
 }
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -105,20 +105,20 @@
 }
 
 // tune takes settings. What is under way keeps its class, which is the old settings'.
-func (b *Balancer) tune(set Settings) {
+func (b *Balancer) applySettings(set Settings) {
 	set.Instances, set.Processes = max(set.Instances, 1), max(set.Processes, 1)
 	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
-	b.set, b.classes, b.slow = set, map[string]*Class{}, 0
-	b.rate[0].span, b.rate[1].span = max(set.Rules.OverloadDuration, settle), 10*max(set.Rules.OverloadDuration, settle)
-	b.again.span = b.rate[1].span
+	b.settings, b.classes, b.serviceTimeLimit = set, map[string]*Class{}, 0
+	b.rate[0].timeConstant, b.rate[1].timeConstant = max(set.Rules.OverloadDuration, reportDelay), 10*max(set.Rules.OverloadDuration, reportDelay)
+	b.recentRetries.timeConstant = b.rate[1].timeConstant
 	for _, s := range b.servers {
-		s.sent.span = b.rate[0].span
+		s.recentAttempts.timeConstant = b.rate[0].timeConstant
 	}
 	for i := range set.Classes {
 		c := &set.Classes[i]
 		b.classes[c.Name] = c
-		if b.slow == 0 || c.MessageLatencyObjective > 0 && c.MessageLatencyObjective < b.slow {
-			b.slow = c.MessageLatencyObjective
+		if b.serviceTimeLimit == 0 || c.MessageLatencyObjective > 0 && c.MessageLatencyObjective < b.serviceTimeLimit {
+			b.serviceTimeLimit = c.MessageLatencyObjective
 		}
 	}
 }
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -9,10 +9,10 @@
 	// coldPart is the part of a cold server's budget that all instances
 	// together aim at. The rest is for chance, as heavy connections come in any
 	// order, and for the draws a request has beyond its first.
-	coldPart = 0.5
+	coldBudgetFraction = 0.5
 	// spared is how many connections, on top of the first, a cold server's budget at
 	// one instance holds at least: what so few weigh is chance. Its processes share it.
-	spared = 3.0
+	minColdAttempts = 3.0
 )
 
 // mayTake tells whether s may be sent one more: it is ready, its zone has a token left
@@ -21,19 +21,19 @@
 // wait for one answer, and a request draws more than once. What was sent it fades over the
 // time that the budget is for, so that this much at once and this much again in that time
 // are the whole budget.
-func (b *Balancer) mayTake(s *server) bool {
-	if s.slot < 0 || !b.zoneTakes(s) {
+func (b *Balancer) hasCapacity(s *server) bool {
+	if s.readyIndex < 0 || !b.zoneHasTokens(s) {
 		return false
 	}
-	w := b.warmth(s)
+	w := b.capacityShare(s)
 	if w >= 1 {
 		return true
 	}
-	if b.now < b.sharedTo { // one budget for the whole fleet
-		return s.used < s.tokens && b.now < b.tokensTo
+	if b.now < b.leaseEndsAt { // one budget for the whole fleet
+		return s.tokensUsed < s.tokens && b.now < b.tokensExpireAt
 	}
-	each := b.coldRate(w) / float64(max(len(b.ready), 1)) * s.sent.span.Seconds()
-	return s.sent.left(b.now) <= max(each-1, spared/float64(b.set.Processes))
+	each := b.coldPlacementRate(w) / float64(max(len(b.ready), 1)) * s.recentAttempts.timeConstant.Seconds()
+	return s.recentAttempts.value(b.now) <= max(each-1, minColdAttempts/float64(b.settings.Processes))
 }
 
 // coldShare is the part of its draws that a cold server of the given warmth
@@ -41,33 +41,33 @@
 // in a wave that returns, so the rate of late is set against that of first
 // arrivals, which no wave of ours changes: of those that were sent, as more may
 // come than a full fleet can take.
-func (b *Balancer) coldShare(w float64) float64 {
-	now := b.rate[0].perSecond(b.now)
+func (b *Balancer) coldDrawShare(w float64) float64 {
+	now := b.rate[0].rate(b.now)
 	if now <= 0 {
 		return 1
 	}
-	return b.coldRate(w) / now
+	return b.coldPlacementRate(w) / now
 }
 
 // coldRate is the rate of placements at which each server would get what a cold one
 // of the given warmth may. At its usual rate and load a fleet sends a warm server
 // rate/load of new work when it is full; a cold one can take warmth times that, and
 // falls over beyond FallMultiple times that.
-func (b *Balancer) coldRate(w float64) float64 {
-	usual := b.rate[1].perSecond(b.now) / (1 - decay(b.now-b.bornAt+time.Second, b.rate[1].span))
+func (b *Balancer) coldPlacementRate(w float64) float64 {
+	usual := b.rate[1].rate(b.now) / (1 - decay(b.now-b.startedAt+time.Second, b.rate[1].timeConstant))
 	// Where connections outlive the ramp, a server can take them faster than
 	// the usual rate: as fast as fills it within the ramp. One that holds nothing
 	// and knows no usual rate yet goes by one connection: none would serve nobody.
-	usual = max(usual, float64(max(b.open, 1))/max(b.set.Rules.SlowStartWindow, settle).Seconds())
-	return coldPart * b.set.Rules.OverloadMultiple * w * usual / max(b.usual, lowest)
+	usual = max(usual, float64(max(b.openConnections, 1))/max(b.settings.Rules.SlowStartWindow, reportDelay).Seconds())
+	return coldBudgetFraction * b.settings.Rules.OverloadMultiple * w * usual / max(b.meanLoad, minLowLoad)
 }
 
 // warmth estimates the share of its capacity that a server has by now.
-func (b *Balancer) warmth(s *server) float64 {
-	age, ramp := b.now-s.StartedAt, b.set.Rules.SlowStartWindow
+func (b *Balancer) capacityShare(s *server) float64 {
+	age, ramp := b.now-s.StartedAt, b.settings.Rules.SlowStartWindow
 	if s.StartedAt <= 0 || age >= ramp {
 		return 1
 	}
-	cold := b.set.Rules.InitialCapacity
+	cold := b.settings.Rules.InitialCapacity
 	return cold + (1-cold)*max(0, age.Seconds())/ramp.Seconds()
 }
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -109,8 +109,8 @@
 	}
 	d.list(ListDelta, ServerEntry{ID: "a", StartedAt: d.now})
 	s := d.b.servers["a"]
-	if p, cold := d.b.share(&request{}, s), d.b.coldShare(d.b.warmth(s)); p < min(d.b.warmth(s), cold)*0.9 || d.b.loadOf(s) >= 0 {
-		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.loadOf(s))
+	if p, cold := d.b.drawShare(&request{}, s), d.b.coldDrawShare(d.b.capacityShare(s)); p < min(d.b.capacityShare(s), cold)*0.9 || d.b.estimatedLoad(s) >= 0 {
+		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.b.estimatedLoad(s))
 	}
 }
 
@@ -123,8 +123,8 @@
 		d := newBench(t, set, "a", "b", "c", "d")
 		d.tell(ListUpdate{Entries: []ServerEntry{{ID: "a", StartedAt: d.now}}})
 		s, n := d.b.servers["a"], 0
-		for ; d.b.mayTake(s); n++ {
-			s.sent.add(d.b.now, 1)
+		for ; d.b.hasCapacity(s); n++ {
+			s.recentAttempts.add(d.b.now, 1)
 		}
 		if n != want {
 			t.Errorf("%d processes: %d at once, want %d", processes, n, want)
--- a/balance/track.go
+++ b/balance/track.go
@@ -13,65 +13,65 @@
 	// never is a time that does not come.
 	never = time.Duration(math.MaxInt64)
 	// noteEvery keeps the log readable in a storm.
-	noteEvery = 10 * time.Second
+	logInterval = 10 * time.Second
 )
 
-func (b *Balancer) track(q Request) *request {
+func (b *Balancer) trackRequest(q Request) *request {
 	class := b.classes[q.Class]
 	if class == nil { // unknown classes are treated as the first, but never repeated
-		c := b.set.Classes[0]
+		c := b.settings.Classes[0]
 		c.Idempotency = NonIdempotent
 		class = &c
 	}
-	b.seq++
-	r := &request{Request: q, seq: b.seq, class: class, heft: 1}
+	b.lastSequence++
+	r := &request{Request: q, sequence: b.lastSequence, class: class, loadFactor: 1}
 	if q.LoadHint > 0 && !math.IsInf(q.LoadHint, 1) {
 		// Over the mean, and bounded: one client's word must not make all others weigh
 		// nothing.
-		if b.hints == 0 {
-			b.hint = q.LoadHint
+		if b.hintSamples == 0 {
+			b.meanHint = q.LoadHint
 		}
-		b.hints = min(b.hints+1, 64)
-		r.heft = min(max(q.LoadHint/b.hint, 1/heaviest), heaviest)
-		b.hint += (r.heft - 1) * b.hint / b.hints
+		b.hintSamples = min(b.hintSamples+1, 64)
+		r.loadFactor = min(max(q.LoadHint/b.meanHint, 1/maxLoadFactor), maxLoadFactor)
+		b.meanHint += (r.loadFactor - 1) * b.meanHint / b.hintSamples
 	}
-	b.requests[q.ID], b.bySeq[r.seq] = r, r
+	b.requests[q.ID], b.requestsBySequence[r.sequence] = r, r
 	return r
 }
 
 // attach books r as an open connection at s.
-func (b *Balancer) attach(r *request, s *server) {
+func (b *Balancer) attachConnection(r *request, s *server) {
 	// Timers of the time before are void: one that was still to come once
 	// moved the connection it had helped to place.
-	b.enter(r, opened)
-	r.since = b.now
-	r.at, r.place, r.wake = s, len(s.conns), never
-	s.conns = append(s.conns, r)
-	b.open++
-	if b.set.Connections.GroupAffinity && r.Group != "" {
+	b.setPhase(r, established)
+	r.startedAt = b.now
+	r.server, r.connectionIndex, r.timerAt = s, len(s.connections), never
+	s.connections = append(s.connections, r)
+	b.openConnections++
+	if b.settings.Connections.GroupAffinity && r.Group != "" {
 		g := b.groups[r.Group]
 		if g == nil {
 			g = &group{}
 			b.groups[r.Group] = g
 		}
-		g.home = s
-		g.size++
+		g.lastServer = s
+		g.members++
 	}
 	if s.State == Draining {
-		b.leave(r)
+		b.scheduleMigration(r)
 	}
 }
 
-func (b *Balancer) detach(r *request) {
-	s := r.at
-	last := len(s.conns) - 1
-	s.conns[r.place] = s.conns[last]
-	s.conns[r.place].place = r.place
-	s.conns[last] = nil
-	s.conns = s.conns[:last]
-	b.open--
+func (b *Balancer) detachConnection(r *request) {
+	s := r.server
+	last := len(s.connections) - 1
+	s.connections[r.connectionIndex] = s.connections[last]
+	s.connections[r.connectionIndex].connectionIndex = r.connectionIndex
+	s.connections[last] = nil
+	s.connections = s.connections[:last]
+	b.openConnections--
 	if g := b.groups[r.Group]; g != nil {
-		if g.size--; g.size == 0 {
+		if g.members--; g.members == 0 {
 			delete(b.groups, r.Group)
 		}
 	}
@@ -81,62 +81,62 @@
 }
 
 // forget drops all that is kept of r.
-func (b *Balancer) forget(r *request) {
-	if r.asked != nil {
-		b.unask(r)
+func (b *Balancer) forgetRequest(r *request) {
+	if r.awaitedServer != nil {
+		b.stopAwaitingProbe(r)
 	}
-	if r.phase == opened && r.at != nil {
-		b.detach(r)
+	if r.phase == established && r.server != nil {
+		b.detachConnection(r)
 	}
 	if r.phase == queued {
-		b.unqueue(r)
+		b.removeFromQueue(r)
 	}
-	b.enter(r, ended)
+	b.setPhase(r, ended)
 	delete(b.requests, r.ID)
-	delete(b.bySeq, r.seq)
-	b.pump()
+	delete(b.requestsBySequence, r.sequence)
+	b.admitQueued()
 }
 
 // unqueue takes r out of the queue. It is served newest first: in a long
 // congestion what had ended would lie at its bottom for good.
-func (b *Balancer) unqueue(r *request) {
+func (b *Balancer) removeFromQueue(r *request) {
 	if i := slices.Index(b.queue, r); i >= 0 {
 		b.queue = slices.Delete(b.queue, i, i+1)
 	}
 }
 
-func (b *Balancer) unask(r *request) {
-	r.asked.waiting = slices.DeleteFunc(r.asked.waiting, func(w *request) bool { return w == r })
-	r.asked = nil
+func (b *Balancer) stopAwaitingProbe(r *request) {
+	r.awaitedServer.waitingRequests = slices.DeleteFunc(r.awaitedServer.waitingRequests, func(w *request) bool { return w == r })
+	r.awaitedServer = nil
 }
 
 // enter changes r's phase and counts those that draw or are being set up.
-func (b *Balancer) enter(r *request, p phase) {
-	was, is := r.phase == drawing || r.phase == sent, p == drawing || p == sent
+func (b *Balancer) setPhase(r *request, p requestPhase) {
+	was, is := r.phase == drawing || r.phase == attempting, p == drawing || p == attempting
 	if was && !is {
-		b.busy--
+		b.settingUp--
 	} else if is && !was {
-		b.busy++
+		b.settingUp++
 	}
 	r.phase = p
 }
 
-func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+func (b *Balancer) emit(a Action) { b.actions = append(b.actions, a) }
 
 // wakeAt asks to look at r again at the given time.
-func (b *Balancer) wakeAt(r *request, at time.Duration) {
+func (b *Balancer) setRequestTimer(r *request, at time.Duration) {
 	// Timers count in microseconds: one that came a fraction early would be
 	// taken for an old one, and r would wait for good.
-	delay := max(at-b.now, b.set.Tick).Truncate(time.Microsecond)
-	r.wake = b.now + delay
-	b.do(SetTimer{Delay: delay, Token: r.seq})
+	delay := max(at-b.now, b.settings.Tick).Truncate(time.Microsecond)
+	r.timerAt = b.now + delay
+	b.emit(SetTimer{Delay: delay, Token: r.sequence})
 }
 
 // note logs a line for those on call, at most one in each noteEvery.
-func (b *Balancer) note(format string, args ...any) {
-	if b.now >= b.notedAt {
-		b.notedAt = b.now + noteEvery
-		b.do(Log{Text: fmt.Sprintf(format, args...)})
+func (b *Balancer) logThrottled(format string, args ...any) {
+	if b.now >= b.nextLogAt {
+		b.nextLogAt = b.now + logInterval
+		b.emit(Log{Text: fmt.Sprintf(format, args...)})
 	}
 }
 
