--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -14,7 +14,7 @@
 
 // fleet passes a list on: first the addresses, then the decision.
 type fleet struct {
-	hops  *upstream.Hops
+	hops  *upstream.Pool
 	core  *dispatch.EventLoop
 	udp   udp.Listeners // nil where it is off
 	known chan struct{} // closed once discovery has said who is there
@@ -33,7 +33,7 @@
 	}
 	if u.Kind != balance.ListFailed {
 		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
-		f.listed(f.hops.Listed())
+		f.listed(f.hops.EndpointCount())
 	}
 	f.core.UpdateEndpoints(u.List())
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -143,13 +143,13 @@
 // operations are what operators may ask of the node.
 type operations struct {
 	*downstream.Server
-	hops *upstream.Hops
+	hops *upstream.Pool
 	core *dispatch.EventLoop
 	book *metrics.Registry
 }
 
 func (o operations) Metrics() string {
-	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.Listed(), Avoided: o.core.AvoidedCount()})
+	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.EndpointCount(), Avoided: o.core.AvoidedCount()})
 }
 
 func (o operations) LameDuck() {
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -19,7 +19,7 @@
 // live is the platform's configuration that is in force, and who goes by it.
 type live struct {
 	core   *dispatch.EventLoop
-	hops   *upstream.Hops
+	hops   *upstream.Pool
 	server *downstream.Server
 	watch  *discovery.Watch
 	book   *metrics.Registry
@@ -36,7 +36,7 @@
 		names = append(names, class.Name)
 	}
 	l.book.AddClasses(names...) // before anybody is served by them
-	l.hops.Limit(hopLimits(c.Settings))
+	l.hops.SetLimits(hopLimits(c.Settings))
 	l.server.SetPause(pause(c.Settings.Limits))
 	l.current = c
 }
@@ -87,5 +87,5 @@
 
 // hopLimits are the bounds that settings set for what is spent on a next hop.
 func hopLimits(s balance.Settings) upstream.Limits {
-	return upstream.Limits{Connect: s.Limits.ConnectTimeout, Probe: probeWait, Drain: s.Rules.DrainGrace}
+	return upstream.Limits{ConnectTimeout: s.Limits.ConnectTimeout, ProbeTimeout: probeWait, DrainGrace: s.Rules.DrainGrace}
 }
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -70,7 +70,7 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	lists.core = core
-	hops.Watch(core)
+	hops.SetObserver(core)
 	if lists.udp, err = startUDP(ctx, &parts, c, own.UDP, core, hops); err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 	inForce.take(c)
 	server.Figures = book
 	if place != nil {
-		used := func() int { return server.Sockets() + hops.Listed() }
+		used := func() int { return server.Sockets() + hops.EndpointCount() }
 		parts.Go(func() { other.watch(ctx, c.Limits, used, inForce.beside) })
 	}
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -107,7 +107,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				r := &restarted{talk: newTalk()}
 				door := listener{make(chan net.Conn), make(chan struct{})}
-				hops := upstream.New(ctx, upstream.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+				hops := upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
 				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 					near, far := net.Pipe()
 					r.parts.Go(func() { r.hop(addr, far) })
@@ -119,7 +119,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				hops.Watch(core)
+				hops.SetObserver(core)
 				server := downstream.New(core, hops, downstream.Limits{Sockets: 1000})
 				r.parts.Go(func() { core.Run(ctx) })
 				u := discovery.Update{Kind: balance.ListFull}
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -22,7 +22,7 @@
 // node is one process.
 type node struct {
 	core   *dispatch.EventLoop
-	hops   *upstream.Hops
+	hops   *upstream.Pool
 	server *downstream.Server
 	door   listener
 	cancel context.CancelFunc
@@ -33,7 +33,7 @@
 func (s *scene) start(list ...discovery.Entry) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
-	n.hops = upstream.New(ctx, upstream.Limits{Connect: connect, Probe: 500 * ms, Drain: 300 * ms})
+	n.hops = upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
 	n.hops.Dial = s.dial
 	var lists dispatch.Discovery = noRoster{}
 	watch := discovery.New("discovery:1", sink{s, n})
@@ -46,7 +46,7 @@
 		s.t.Fatal(err)
 	}
 	n.core = core
-	n.hops.Watch(core)
+	n.hops.SetObserver(core)
 	n.server = downstream.New(core, n.hops, downstream.Limits{Sockets: 1000})
 	n.server.Figures = s.count
 	n.parts.Go(func() { core.Run(ctx) })
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -103,7 +103,7 @@
 	at := now.Sub(f.start)
 	switch {
 	case h.echo == nil:
-		h.evidence.ProbeAnswered(at, f.hops.Answers(h.server))
+		h.evidence.ProbeAnswered(at, f.hops.IsResponsive(h.server))
 	case now.Before(h.askAt):
 		if h.answered {
 			h.evidence.ProbeAnswered(at, true)
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -88,10 +88,10 @@
 func (f *Listener) maySend(x *item, now time.Time) bool {
 	out := x.out
 	if !f.o.SharedSockets {
-		return f.hops.MaySend(x.server, now)
+		return f.hops.CanSend(x.server, now)
 	}
 	if out.looked != now {
-		out.looked, out.may = now, f.hops.MaySend(x.server, now)
+		out.looked, out.may = now, f.hops.CanSend(x.server, now)
 	}
 	return out.may
 }
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -51,9 +51,9 @@
 type Endpoints interface {
 	Address(server string) string // empty if it is not known
 	// MaySend is false once the drain grace is over, with some of it kept back.
-	MaySend(server string, now time.Time) bool
-	Leaving(server string, now time.Time) bool // it drains, or is gone
-	Answers(server string) bool                // its last probe, if there was one
+	CanSend(server string, now time.Time) bool
+	IsDraining(server string, now time.Time) bool // it drains, or is gone
+	IsResponsive(server string) bool              // its last probe, if there was one
 }
 
 // Options size the front.
@@ -394,7 +394,7 @@
 		}
 		gone, known := leaving[x.server]
 		if !known {
-			gone = f.hops.Leaving(x.server, now)
+			gone = f.hops.IsDraining(x.server, now)
 			leaving[x.server] = gone
 		}
 		if gone {
@@ -429,7 +429,7 @@
 func (f *Listener) up(x *item, server string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if x.over || f.closed || !f.hops.MaySend(server, now) {
+	if x.over || f.closed || !f.hops.CanSend(server, now) {
 		return false
 	}
 	out, made, err := f.outlet(server)
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -80,14 +80,14 @@
 }
 
 func (h *hops) Address(s string) string { h.mu.Lock(); defer h.mu.Unlock(); return h.addr[s] }
-func (h *hops) MaySend(s string, _ time.Time) bool {
+func (h *hops) CanSend(s string, _ time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return !h.leaving[s]
 }
-func (h *hops) Answers(s string) bool                { h.mu.Lock(); defer h.mu.Unlock(); return !h.mute[s] }
-func (h *hops) Leaving(s string, now time.Time) bool { return !h.MaySend(s, now) }
-func (h *hops) count(s string) int                   { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
+func (h *hops) IsResponsive(s string) bool              { h.mu.Lock(); defer h.mu.Unlock(); return !h.mute[s] }
+func (h *hops) IsDraining(s string, now time.Time) bool { return !h.CanSend(s, now) }
+func (h *hops) count(s string) int                      { h.mu.Lock(); defer h.mu.Unlock(); return len(h.got[s]) }
 
 func (h *hops) add(t testing.TB, name string) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -19,7 +19,7 @@
 
 // branch is one attempt of a transaction.
 type branch struct {
-	hops     *Hops
+	hops     *Pool
 	t        *proxy.Transaction
 	hop      *hop
 	deadline time.Time
@@ -27,7 +27,7 @@
 
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
-func (h *Hops) StartAttempt(item dispatch.Placement, attempt int, server string, deadline time.Time) {
+func (h *Pool) StartAttempt(item dispatch.Placement, attempt int, server string, deadline time.Time) {
 	t := item.(*proxy.Transaction) // exchange.Decided brings no others here
 	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
 	go func() {
@@ -79,7 +79,7 @@
 	// closed this socket yet; the next hop may drain; and the deadline, which for what may
 	// have run before is no later than the end of its window, may have come.
 	if b.t.Context().Err() != nil || !now.Before(b.deadline) ||
-		b.t.CurrentServer == "" && !b.hop.mayTake(now, b.hops.limits.Load().Drain/2) {
+		b.t.CurrentServer == "" && !b.hop.mayTake(now, b.hops.limits.Load().DrainGrace/2) {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
 	if err := l.WriteLine(b.t.Forward(now, b.deadline), b.deadline); err != nil {
@@ -115,8 +115,8 @@
 
 // dial connects before the deadline, or the limit for connections if that is
 // sooner.
-func (h *Hops) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	connect := h.limits.Load().Connect
+func (h *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	connect := h.limits.Load().ConnectTimeout
 	if most := time.Now().Add(connect); connect > 0 && most.Before(deadline) {
 		deadline = most
 	}
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -25,7 +25,7 @@
 // meanwhile: like one that came up late.
 type heldDial struct{ dialled, let chan struct{} }
 
-func hold(h *Hops) heldDial {
+func hold(h *Pool) heldDial {
 	d := heldDial{make(chan struct{}), make(chan struct{})}
 	h.Dial = func(_ context.Context, addr string, deadline time.Time) (net.Conn, error) {
 		conn, err := dial(context.Background(), addr, deadline)
@@ -98,16 +98,16 @@
 // A drain is told, or the deadline comes, while the dial is under way: nothing is sent.
 func TestOverInTheDial(t *testing.T) {
 	leaving := discovery.Entry{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}}
-	for name, over := range map[string]func(h *Hops){
-		"drains":   func(h *Hops) { h.Update(false, []discovery.Entry{leaving}, time.Now().Add(-150*time.Millisecond)) },
-		"gone":     func(h *Hops) { h.Update(true, nil, time.Now().Add(-time.Second)) },
-		"deadline": func(*Hops) { time.Sleep(time.Second) }, // of the bubble's time
+	for name, over := range map[string]func(h *Pool){
+		"drains":   func(h *Pool) { h.Update(false, []discovery.Entry{leaving}, time.Now().Add(-150*time.Millisecond)) },
+		"gone":     func(h *Pool) { h.Update(true, nil, time.Now().Add(-time.Second)) },
+		"deadline": func(*Pool) { time.Sleep(time.Second) }, // of the bubble's time
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				h, w := New(ctx, Limits{Drain: 300 * time.Millisecond}), make(watcher, 16)
-				h.Watch(w)
+				h, w := New(ctx, Limits{DrainGrace: 300 * time.Millisecond}), make(watcher, 16)
+				h.SetObserver(w)
 				h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: "s1"}}, time.Now())
 				near, far := net.Pipe()
 				dialled, let := make(chan struct{}), make(chan struct{})
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -17,7 +17,7 @@
 
 // Watcher is told what becomes of branches and probes. A branch's socket is
 // closed, or the exchange's, by then.
-type Watcher interface {
+type Observer interface {
 	AttemptEstablished(item dispatch.Placement, attempt int, server string, latency time.Duration)
 	AttemptEnded(item dispatch.Placement, attempt int, server string, outcome balance.Outcome,
 		latency time.Duration, load balance.LoadReport)
@@ -26,21 +26,21 @@
 
 // Limits bound what is spent on a next hop.
 type Limits struct {
-	Connect time.Duration // a connection not made within this could not be made
-	Probe   time.Duration // a probe not answered within this has timed out
-	Drain   time.Duration // sends end this long after a drain was told
+	ConnectTimeout time.Duration // a connection not made within this could not be made
+	ProbeTimeout   time.Duration // a probe not answered within this has timed out
+	DrainGrace     time.Duration // sends end this long after a drain was told
 }
 
 // Hops knows the next hops and their addresses. Its methods never block on a
 // socket.
-type Hops struct {
+type Pool struct {
 	// Dial connects to an address by a deadline, over TCP unless a test has another
 	// way. Set before anything is started.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
 	ctx    context.Context // ends every probe connection
 	limits atomic.Pointer[Limits]
-	watch  Watcher
+	watch  Observer
 	bad    logging.Throttled
 
 	mu   sync.Mutex
@@ -61,27 +61,27 @@
 }
 
 // New returns Hops without any next hop; their probe connections end with ctx.
-func New(ctx context.Context, l Limits) *Hops {
-	h := &Hops{Dial: dial, ctx: ctx, hops: map[string]*hop{}}
-	h.Limit(l)
+func New(ctx context.Context, l Limits) *Pool {
+	h := &Pool{Dial: dial, ctx: ctx, hops: map[string]*hop{}}
+	h.SetLimits(l)
 	return h
 }
 
 // Limit bounds what is spent from now on.
-func (h *Hops) Limit(l Limits) { h.limits.Store(&l) }
+func (h *Pool) SetLimits(l Limits) { h.limits.Store(&l) }
 
 // Listed is how many next hops the list names.
-func (h *Hops) Listed() int {
+func (h *Pool) EndpointCount() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.hops)
 }
 
 // Watch names who is told; call it before anything is started.
-func (h *Hops) Watch(w Watcher) { h.watch = w }
+func (h *Pool) SetObserver(w Observer) { h.watch = w }
 
 // Update takes what the roster has told.
-func (h *Hops) Update(full bool, entries []discovery.Entry, now time.Time) {
+func (h *Pool) Update(full bool, entries []discovery.Entry, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
@@ -110,12 +110,12 @@
 
 // drop ends a next hop that is gone. Branches that hold it still see that it
 // is leaving.
-func (h *Hops) drop(p *hop) {
+func (h *Pool) drop(p *hop) {
 	p.cancel()
 	delete(h.hops, p.id)
 }
 
-func (h *Hops) get(id string) *hop {
+func (h *Pool) get(id string) *hop {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.hops[id]
@@ -149,7 +149,7 @@
 }
 
 // Address is where a next hop is; empty if it is not known.
-func (h *Hops) Address(server string) string {
+func (h *Pool) Address(server string) string {
 	if p := h.get(server); p != nil {
 		return p.address()
 	}
@@ -158,14 +158,14 @@
 
 // MaySend tells whether a datagram may still go to a next hop. Of the grace after a
 // drain half is kept back, for what is under way.
-func (h *Hops) MaySend(server string, now time.Time) bool {
+func (h *Pool) CanSend(server string, now time.Time) bool {
 	p := h.get(server)
-	return p != nil && p.mayTake(now, h.limits.Load().Drain/2)
+	return p != nil && p.mayTake(now, h.limits.Load().DrainGrace/2)
 }
 
 // Answers tells whether a next hop has answered its last probe; one that was never asked
 // passes.
-func (h *Hops) Answers(server string) bool {
+func (h *Pool) IsResponsive(server string) bool {
 	p := h.get(server)
 	if p == nil {
 		return false
@@ -176,7 +176,7 @@
 }
 
 // Leaving tells whether a next hop drains or is gone.
-func (h *Hops) Leaving(server string, now time.Time) bool {
+func (h *Pool) IsDraining(server string, now time.Time) bool {
 	p := h.get(server)
 	return p == nil || !p.mayTake(now, 0)
 }
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -75,13 +75,13 @@
 }
 
 // start returns Hops that know one next hop, which serves each connection with f.
-func start(t *testing.T, f func(net.Conn)) (*Hops, watcher, string) {
+func start(t *testing.T, f func(net.Conn)) (*Pool, watcher, string) {
 	t.Helper()
 	addr := listen(t, f)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	h, w := New(ctx, Limits{Connect: patience, Probe: 300 * time.Millisecond, Drain: 300 * time.Millisecond}), make(watcher, 16)
-	h.Watch(w)
+	h, w := New(ctx, Limits{ConnectTimeout: patience, ProbeTimeout: 300 * time.Millisecond, DrainGrace: 300 * time.Millisecond}), make(watcher, 16)
+	h.SetObserver(w)
 	h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
 	return h, w, addr
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -14,7 +14,7 @@
 )
 
 // Probe asks a next hop for its load.
-func (h *Hops) Probe(server string) {
+func (h *Pool) Probe(server string) {
 	p := h.get(server)
 	if p == nil {
 		go h.watch.ProbeEnded(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
@@ -27,7 +27,7 @@
 }
 
 // probeLoop owns the kept connection of one next hop.
-func (h *Hops) probeLoop(ctx context.Context, p *hop) {
+func (h *Pool) probeLoop(ctx context.Context, p *hop) {
 	var l *bufconn.Conn
 	at := "" // where l goes to
 	closeKept := func() {
@@ -48,7 +48,7 @@
 			at = addr
 		}
 		begun := time.Now()
-		deadline := begun.Add(h.limits.Load().Probe)
+		deadline := begun.Add(h.limits.Load().ProbeTimeout)
 		kept := l != nil
 		load, err := h.stats(ctx, p.id, at, &l, deadline)
 		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errStats) {
@@ -89,7 +89,7 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Hops) stats(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
+func (h *Pool) stats(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
 	if *kept == nil {
 		conn, err := h.dial(ctx, addr, deadline)
 		if err != nil {
