--- a/internal/fleet/replog/cipher.go
+++ b/internal/fleet/replog/cipher.go
@@ -19,27 +19,27 @@
 // counts the frames of its direction. Keys are of one connection and one direction: derived
 // from the fleet's key and a nonce of either side, so that nothing recorded can be said again.
 const (
-	magic     = "CRF1"
-	nonceSize = 16
-	frameMost = 32 << 10 // of plain text
-	shake     = 2 * time.Second
+	magic            = "CRF1"
+	nonceSize        = 16
+	maxFrameSize     = 32 << 10 // of plain text
+	handshakeTimeout = 2 * time.Second
 )
 
 var (
-	errFrame   = errors.New("a frame that was not sealed with the fleet's key")
-	errNoHello = errors.New("no greeting of this fleet")
+	errFrame       = errors.New("a frame that was not sealed with the fleet's key")
+	errNoHandshake = errors.New("no greeting of this fleet")
 )
 
 // conn is a connection on which all is sealed. Reads and writes may run beside each other,
 // not two of a kind. After an error it is of no use any more.
-type conn struct {
+type sealedConn struct {
 	net.Conn
-	in           *bufio.Reader
-	open, seal   cipher.AEAD
-	opened, said uint64
-	left, box    []byte // what of the last frame is unread; and room for the next
-	out          []byte
-	peer         string // address of the follower behind it
+	reader                     *bufio.Reader
+	opener, sealer             cipher.AEAD
+	framesOpened, framesSealed uint64
+	unread, readBuffer         []byte // what of the last frame is unread; and room for the next
+	writeBuffer                []byte
+	followerAddr               string // address of the follower behind it
 }
 
 func newAEAD(key, salt []byte, info string) (cipher.AEAD, error) {
@@ -56,7 +56,7 @@
 
 // greet agrees on keys; the one who dials has called. The caller bounds it by a deadline.
 // Neither side knows the other until a first frame has come from it.
-func greet(c net.Conn, key []byte, called bool) (*conn, error) {
+func handshake(c net.Conn, key []byte, called bool) (*sealedConn, error) {
 	mine := make([]byte, nonceSize)
 	_, _ = rand.Read(mine)
 	in := bufio.NewReader(c)
@@ -74,7 +74,7 @@
 			return nil, err
 		}
 		if string(head) != magic {
-			return nil, errNoHello
+			return nil, errNoHandshake
 		}
 		if _, err := io.ReadFull(in, other); err != nil {
 			return nil, err
@@ -96,59 +96,59 @@
 		return nil, err
 	}
 	if called {
-		return &conn{Conn: c, in: in, open: toCaller, seal: fromCaller}, nil
+		return &sealedConn{Conn: c, reader: in, opener: toCaller, sealer: fromCaller}, nil
 	}
-	return &conn{Conn: c, in: in, open: fromCaller, seal: toCaller}, nil
+	return &sealedConn{Conn: c, reader: in, opener: fromCaller, sealer: toCaller}, nil
 }
 
-func count(n uint64) []byte { return binary.BigEndian.AppendUint64(make([]byte, 4, 12), n) }
+func frameNonce(n uint64) []byte { return binary.BigEndian.AppendUint64(make([]byte, 4, 12), n) }
 
 // Write seals p in as many frames as it needs and writes them at once.
-func (c *conn) Write(p []byte) (n int, err error) {
-	c.out = c.out[:0]
+func (c *sealedConn) Write(p []byte) (n int, err error) {
+	c.writeBuffer = c.writeBuffer[:0]
 	for left := p; len(left) > 0; {
-		part := left[:min(len(left), frameMost)]
+		part := left[:min(len(left), maxFrameSize)]
 		left = left[len(part):]
-		at := len(c.out)
-		c.out = binary.BigEndian.AppendUint16(c.out, uint16(len(part)+c.seal.Overhead()))
-		c.out = c.seal.Seal(c.out, count(c.said), part, c.out[at:at+2])
-		c.said++
+		at := len(c.writeBuffer)
+		c.writeBuffer = binary.BigEndian.AppendUint16(c.writeBuffer, uint16(len(part)+c.sealer.Overhead()))
+		c.writeBuffer = c.sealer.Seal(c.writeBuffer, frameNonce(c.framesSealed), part, c.writeBuffer[at:at+2])
+		c.framesSealed++
 	}
-	if _, err := c.Conn.Write(c.out); err != nil {
+	if _, err := c.Conn.Write(c.writeBuffer); err != nil {
 		return 0, err
 	}
-	if cap(c.out) > 4*frameMost {
-		c.out = nil
+	if cap(c.writeBuffer) > 4*maxFrameSize {
+		c.writeBuffer = nil
 	}
 	return len(p), nil
 }
 
-func (c *conn) Read(p []byte) (int, error) {
-	for len(c.left) == 0 {
+func (c *sealedConn) Read(p []byte) (int, error) {
+	for len(c.unread) == 0 {
 		var head [2]byte
-		if _, err := io.ReadFull(c.in, head[:]); err != nil {
+		if _, err := io.ReadFull(c.reader, head[:]); err != nil {
 			return 0, err
 		}
 		size := int(binary.BigEndian.Uint16(head[:]))
-		if size < c.open.Overhead() || size > frameMost+c.open.Overhead() {
+		if size < c.opener.Overhead() || size > maxFrameSize+c.opener.Overhead() {
 			return 0, fmt.Errorf("%w: of %d bytes", errFrame, size)
 		}
-		if cap(c.box) < size {
-			c.box = make([]byte, size)
+		if cap(c.readBuffer) < size {
+			c.readBuffer = make([]byte, size)
 		}
-		box := c.box[:size]
-		if _, err := io.ReadFull(c.in, box); err != nil {
+		box := c.readBuffer[:size]
+		if _, err := io.ReadFull(c.reader, box); err != nil {
 			return 0, err
 		}
-		plain, err := c.open.Open(box[:0], count(c.opened), box, head[:])
+		plain, err := c.opener.Open(box[:0], frameNonce(c.framesOpened), box, head[:])
 		if err != nil {
 			_ = c.Close()
 			return 0, errFrame
 		}
-		c.opened++
-		c.left = plain
+		c.framesOpened++
+		c.unread = plain
 	}
-	n := copy(p, c.left)
-	c.left = c.left[n:]
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
 	return n, nil
 }
--- a/internal/fleet/replog/cipher_test.go
+++ b/internal/fleet/replog/cipher_test.go
@@ -15,7 +15,7 @@
 )
 
 // pair returns both ends of a connection, each with its key.
-func pair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *conn) {
+func pair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *sealedConn) {
 	a, b := net.Pipe()
 	for _, c := range []net.Conn{a, b} {
 		_ = c.SetDeadline(time.Now().Add(patience))
@@ -23,10 +23,10 @@
 	done := make(chan error, 1)
 	go func() {
 		var err error
-		called, err = greet(b, []byte(calledKey), false)
+		called, err = handshake(b, []byte(calledKey), false)
 		done <- err
 	}()
-	caller, err := greet(wire(a), []byte(callerKey), true)
+	caller, err := handshake(wire(a), []byte(callerKey), true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +43,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := pair(t, "0123456789abcdef", "0123456789abcdef", same)
 		defer func() { _, _ = a.Close(), b.Close() }()
-		parts := rapid.SliceOfN(rapid.IntRange(0, 3*frameMost), 1, 5).Draw(t, "parts")
+		parts := rapid.SliceOfN(rapid.IntRange(0, 3*maxFrameSize), 1, 5).Draw(t, "parts")
 		seed := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "seed")
 		var want []byte
 		go func() {
@@ -121,12 +121,12 @@
 
 // greetedByHand plays the other side of a greeting on a, and returns both nonces, the
 // caller's first, and the conn that greet made.
-func greetedByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *conn) {
+func greetedByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *sealedConn) {
 	t.Helper()
 	greeted := make(chan error, 1)
 	go func() {
 		var err error
-		c, err = greet(b, key, calls)
+		c, err = handshake(b, key, calls)
 		greeted <- err
 	}()
 	own, other := []byte("sixteen bytes ok"), make([]byte, 16)
--- a/internal/fleet/replog/disk.go
+++ b/internal/fleet/replog/disk.go
@@ -15,16 +15,16 @@
 )
 
 var (
-	logsBucket   = []byte("log")
-	stableBucket = []byte("stable")
-	snapBucket   = []byte("snapshot")
-	ownBucket    = []byte("own")
-	snapKey      = []byte("last")
-	foundersKey  = []byte("founders")
+	logsBucket         = []byte("log")
+	stableBucket       = []byte("stable")
+	snapshotBucket     = []byte("snapshot")
+	bootstrapBucket    = []byte("own")
+	snapshotKey        = []byte("last")
+	bootstrapStoresKey = []byte("founders")
 )
 
 var votesSchema = store.Schema{Kind: "fleet-votes", Migrations: []func(*store.Tx) error{func(tx *store.Tx) error {
-	for _, name := range [][]byte{logsBucket, stableBucket, snapBucket, ownBucket} {
+	for _, name := range [][]byte{logsBucket, stableBucket, snapshotBucket, bootstrapBucket} {
 		if _, err := tx.CreateBucket(name); err != nil {
 			return err
 		}
@@ -35,25 +35,25 @@
 // disk is what a voter must not forget: its log, its term and vote, a snapshot, and who
 // founded the fleet. All of it is in memory too: raft ends the process where it can't read.
 // After a write that failed nothing is written any more, until it is opened anew.
-type disk struct {
-	st     *store.Store
-	fault  func(op string) error
-	sever  func()        // called before a write that failed is answered: nothing may go out that rests on it
-	broken chan struct{} // closed at the first failure
-	write  sync.Mutex    // one write at a time; bad is its
-	bad    error
+type voterStore struct {
+	store          *store.Store
+	injectFault    func(op string) error
+	cutConnections func()        // called before a write that failed is answered: nothing may go out that rests on it
+	failed         chan struct{} // closed at the first failure
+	writeMu        sync.Mutex    // one write at a time; bad is its
+	writeErr       error
 
-	mu          sync.RWMutex
-	logs        map[uint64]*raft.Log
-	first, last uint64
-	stable      map[string][]byte
-	vote        []byte // of the term of a vote, until the candidate comes: they are written as one
-	snap        *snapshot
-	founders    map[string]string
+	mu                    sync.RWMutex
+	entries               map[uint64]*raft.Log
+	firstIndex, lastIndex uint64
+	stable                map[string][]byte
+	pendingVoteTerm       []byte // of the term of a vote, until the candidate comes: they are written as one
+	snapshot              *snapshot
+	bootstrapStores       map[string]string
 }
 
 // openDisk opens a voter's store. One that can't be trusted is set aside, and why is told.
-func openDisk(o *Options, sever func()) (d *disk, why string, err error) {
+func openVoterStore(o *Options, sever func()) (d *voterStore, why string, err error) {
 	path := filepath.Join(o.Dir, "votes.db")
 	for range 2 {
 		if err := o.InjectFault("open"); err != nil {
@@ -66,9 +66,9 @@
 		if st.Aside != "" {
 			why = fmt.Sprintf("%v; it is now %s", st.Why, st.Aside)
 		}
-		d = &disk{st: st, fault: o.InjectFault, sever: sever, broken: make(chan struct{}), logs: map[uint64]*raft.Log{},
-			stable: map[string][]byte{}, founders: map[string]string{}}
-		bad := d.read()
+		d = &voterStore{store: st, injectFault: o.InjectFault, cutConnections: sever, failed: make(chan struct{}), entries: map[uint64]*raft.Log{},
+			stable: map[string][]byte{}, bootstrapStores: map[string]string{}}
+		bad := d.load()
 		if bad == nil {
 			return d, why, nil
 		}
@@ -98,35 +98,35 @@
 }
 
 // read takes all into memory and checks it.
-func (d *disk) read() error {
-	return d.st.View(func(tx *store.Tx) error {
+func (d *voterStore) load() error {
+	return d.store.View(func(tx *store.Tx) error {
 		err := tx.Bucket(logsBucket).ForEach(func(k, v []byte) error {
-			l, err := parseLog(v)
+			l, err := decodeLog(v)
 			if err != nil {
 				return fmt.Errorf("log entry %x: %w", k, err)
 			}
-			if d.last != 0 && l.Index != d.last+1 || len(k) != 8 || binary.BigEndian.Uint64(k) != l.Index {
-				return fmt.Errorf("log entry %x: calls itself %d, after %d", k, l.Index, d.last)
+			if d.lastIndex != 0 && l.Index != d.lastIndex+1 || len(k) != 8 || binary.BigEndian.Uint64(k) != l.Index {
+				return fmt.Errorf("log entry %x: calls itself %d, after %d", k, l.Index, d.lastIndex)
 			}
-			if d.first == 0 {
-				d.first = l.Index
+			if d.firstIndex == 0 {
+				d.firstIndex = l.Index
 			}
-			d.logs[l.Index], d.last = l, l.Index
+			d.entries[l.Index], d.lastIndex = l, l.Index
 			return nil
 		})
 		if err != nil {
 			return err
 		}
-		if v := tx.Bucket(snapBucket).Get(snapKey); v != nil {
-			if d.snap, err = parseSnapshot(v); err != nil {
+		if v := tx.Bucket(snapshotBucket).Get(snapshotKey); v != nil {
+			if d.snapshot, err = decodeSnapshot(v); err != nil {
 				return err
 			}
 		}
-		if covered := d.snap.index(); d.first > covered+1 {
-			return fmt.Errorf("the log begins at %d, and the snapshot ends at %d", d.first, covered)
+		if covered := d.snapshot.index(); d.firstIndex > covered+1 {
+			return fmt.Errorf("the log begins at %d, and the snapshot ends at %d", d.firstIndex, covered)
 		}
-		if v := tx.Bucket(ownBucket).Get(foundersKey); v != nil {
-			if err := json.Unmarshal(v, &d.founders); err != nil {
+		if v := tx.Bucket(bootstrapBucket).Get(bootstrapStoresKey); v != nil {
+			if err := json.Unmarshal(v, &d.bootstrapStores); err != nil {
 				return fmt.Errorf("founders: %w", err)
 			}
 		}
@@ -138,28 +138,28 @@
 }
 
 // blank tells whether nothing was ever promised with this store.
-func (d *disk) blank() bool {
+func (d *voterStore) isBlank() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.last == 0 && d.snap == nil && len(d.stable) == 0
+	return d.lastIndex == 0 && d.snapshot == nil && len(d.stable) == 0
 }
 
 // update writes one transaction and then shows it in memory.
-func (d *disk) update(op string, f func(*store.Tx) error, shown func()) error {
-	d.write.Lock()
-	defer d.write.Unlock()
-	if d.bad != nil {
-		return d.bad
+func (d *voterStore) update(op string, f func(*store.Tx) error, shown func()) error {
+	d.writeMu.Lock()
+	defer d.writeMu.Unlock()
+	if d.writeErr != nil {
+		return d.writeErr
 	}
-	err := d.fault(op)
+	err := d.injectFault(op)
 	if err == nil {
-		err = d.st.Update(f)
+		err = d.store.Update(f)
 	}
 	if err != nil {
-		d.bad = fmt.Errorf("%s: %w", op, err)
-		d.sever()
-		close(d.broken)
-		return d.bad
+		d.writeErr = fmt.Errorf("%s: %w", op, err)
+		d.cutConnections()
+		close(d.failed)
+		return d.writeErr
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -168,7 +168,7 @@
 }
 
 // found begins a log with its first configuration, in one transaction.
-func (d *disk) found(c raft.Configuration, founders map[string]string) error {
+func (d *voterStore) bootstrap(c raft.Configuration, founders map[string]string) error {
 	first := &raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(c)}
 	names, err := json.Marshal(founders)
 	if err != nil {
@@ -176,12 +176,12 @@
 	}
 	term := binary.BigEndian.AppendUint64(nil, 1)
 	return d.update("found", func(tx *store.Tx) error {
-		return errors.Join(tx.Bucket(ownBucket).Put(foundersKey, names), tx.Bucket(stableBucket).Put(termKey, term),
-			tx.Bucket(logsBucket).Put(binary.BigEndian.AppendUint64(nil, 1), formatLog(first)))
+		return errors.Join(tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, names), tx.Bucket(stableBucket).Put(termKey, term),
+			tx.Bucket(logsBucket).Put(binary.BigEndian.AppendUint64(nil, 1), encodeLog(first)))
 	}, func() {
-		d.founders, d.stable[string(termKey)] = founders, term
-		d.logs[1], d.first, d.last = first, 1, 1
+		d.bootstrapStores, d.stable[string(termKey)] = founders, term
+		d.entries[1], d.firstIndex, d.lastIndex = first, 1, 1
 	})
 }
 
-func (d *disk) close() error { return d.st.Close() }
+func (d *voterStore) close() error { return d.store.Close() }
--- a/internal/fleet/replog/disk_test.go
+++ b/internal/fleet/replog/disk_test.go
@@ -96,8 +96,8 @@
 	a, b, c := f.again(f.members["v0"], nil), f.again(f.members["v1"], nil), f.again(f.members["v2"], nil)
 	f.until(c, "a voter", func(v View) bool { return v.Role == "voter" })
 	for _, m := range []*member{a, b} {
-		f.until(m, "with a store", func(View) bool { return m.own.Load() != nil })
-		founders, lost, _ := m.look(t.Context(), m.own.Load().ID)
+		f.until(m, "with a store", func(View) bool { return m.voterInfo.Load() != nil })
+		founders, lost, _ := m.surveyVoters(t.Context(), m.voterInfo.Load().StoreID)
 		if founders != nil || !lost {
 			t.Errorf("%s: founders %v, lost %v", m.o.Name, founders, lost)
 		}
@@ -109,18 +109,18 @@
 
 func TestDiskKeeps(t *testing.T) {
 	o := Options{Dir: t.TempDir(), InjectFault: func(string) error { return nil }}
-	open := func() *disk {
-		d, why, err := openDisk(&o, func() {})
+	open := func() *voterStore {
+		d, why, err := openVoterStore(&o, func() {})
 		if err != nil || why != "" {
 			t.Fatal(why, err)
 		}
 		return d
 	}
 	d := open()
-	if !d.blank() {
+	if !d.isBlank() {
 		t.Error("a fresh one is not blank")
 	}
-	if err := d.found(raft.Configuration{}, map[string]string{"v0": "1"}); err != nil {
+	if err := d.bootstrap(raft.Configuration{}, map[string]string{"v0": "1"}); err != nil {
 		t.Fatal(err)
 	}
 	for i := uint64(2); i <= 9; i++ {
@@ -135,11 +135,11 @@
 	_ = d.close()
 	d = open()
 	var l raft.Log
-	if err := d.GetLog(7, &l); err != nil || !bytes.Equal(l.Data, []byte{7}) || string(l.Extensions) != "x" || d.last != 7 || d.first != 1 {
-		t.Errorf("entry 7: %+v, %v; %d to %d", l, err, d.first, d.last)
+	if err := d.GetLog(7, &l); err != nil || !bytes.Equal(l.Data, []byte{7}) || string(l.Extensions) != "x" || d.lastIndex != 7 || d.firstIndex != 1 {
+		t.Errorf("entry 7: %+v, %v; %d to %d", l, err, d.firstIndex, d.lastIndex)
 	}
-	if n, _ := d.GetUint64(voteTermKey); n != 0 || d.founders["v0"] != "1" {
-		t.Errorf("vote in term %d, founders %v", n, d.founders)
+	if n, _ := d.GetUint64(voteTermKey); n != 0 || d.bootstrapStores["v0"] != "1" {
+		t.Errorf("vote in term %d, founders %v", n, d.bootstrapStores)
 	}
 	_ = d.SetUint64(voteTermKey, 7)
 	if err := d.Set(voteKey, []byte("v1")); err != nil {
@@ -154,7 +154,7 @@
 		t.Fatal(err)
 	}
 	// bbolt has no sum over values: the log's own finds it.
-	raw := formatLog(&raft.Log{Index: 7, Term: 2, Data: []byte{7}, Extensions: []byte("x")})
+	raw := encodeLog(&raft.Log{Index: 7, Term: 2, Data: []byte{7}, Extensions: []byte("x")})
 	at := bytes.LastIndex(spoilt, raw)
 	for ; at >= 0; at = bytes.LastIndex(spoilt[:at], raw) {
 		spoilt[at+len(raw)-5] ^= 1
@@ -162,8 +162,8 @@
 	if err := os.WriteFile(filepath.Join(o.Dir, "votes.db"), spoilt, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	d, why, err := openDisk(&o, func() {})
-	if err != nil || why == "" || !d.blank() {
+	d, why, err := openVoterStore(&o, func() {})
+	if err != nil || why == "" || !d.isBlank() {
 		t.Errorf("a spoilt entry: %q, %v", why, err)
 	}
 	_ = d.close()
--- a/internal/fleet/replog/follow_test.go
+++ b/internal/fleet/replog/follow_test.go
@@ -53,7 +53,7 @@
 }
 
 func fanOut(t *testing.T, v, n int, sorted bool) {
-	voters, peers, most := make([]Voter, v), make([]Peer, n), mostPath
+	voters, peers, most := make([]Voter, v), make([]Peer, n), maxPathLength
 	for i := range voters {
 		voters[i] = Voter{Name: fmt.Sprint("v", i), Addr: "x"}
 	}
@@ -62,17 +62,17 @@
 	}
 	if sorted {
 		most = 4
-		slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(weight(a.Name), weight(b.Name)) })
+		slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(hashWeight(a.Name), hashWeight(b.Name)) })
 	}
 	hops, feeds, lists := map[string]int{"v0": 0}, map[string]int{}, map[string][]Peer{}
 	for _, v := range voters[1:] {
-		if list, suit := order(v.Name, voters, peers, "v0"); list[0].Name != "v0" || suit != 1 {
+		if list, suit := rankUpstreams(v.Name, voters, peers, "v0"); list[0].Name != "v0" || suit != 1 {
 			t.Fatalf("voter %s asks %s first", v.Name, list[0].Name)
 		}
 		hops[v.Name] = 1
 	}
 	for _, p := range peers {
-		lists[p.Name], _ = order(p.Name, voters, peers, "v0")
+		lists[p.Name], _ = rankUpstreams(p.Name, voters, peers, "v0")
 	}
 	for left := n; left > 0; { // whose upstream is fed already takes his place
 		before := left
@@ -81,7 +81,7 @@
 				continue
 			}
 			for _, up := range lists[p.Name] {
-				if h, fed := hops[up.Name]; fed && feeds[up.Name] < fan && h < most {
+				if h, fed := hops[up.Name]; fed && feeds[up.Name] < maxFollowers && h < most {
 					hops[p.Name], feeds[up.Name], left = h+1, feeds[up.Name]+1, left-1
 					break
 				}
@@ -101,7 +101,7 @@
 	f := newFleet(t, 3)
 	lead := f.leader()
 	var idle []net.Conn
-	for range 3 * mostShaking {
+	for range 3 * maxHandshakes {
 		c, err := net.Dial("tcp", lead.Addr())
 		if err != nil {
 			t.Fatal(err)
@@ -133,16 +133,16 @@
 	out := f.propose(a)
 	f.all("at the entry", reached(out.Index))
 	a.kill()
-	forkedState, _ := a.first.Apply([]byte("an entry that was never committed"))
-	a.hub.view.Store(&View{State: forkedState})
-	a.state.written = 0
-	a.state.st = nil
-	a.state.write()
-	_ = a.state.st.Close()
+	forkedState, _ := a.initialState.Apply([]byte("an entry that was never committed"))
+	a.publisher.view.Store(&View{State: forkedState})
+	a.stateFile.writtenIndex = 0
+	a.stateFile.store = nil
+	a.stateFile.write()
+	_ = a.stateFile.store.Close()
 	a = f.again(a, nil)
 	h := hello{Name: "f1", Index: forkedState.Index, Hash: forkedState.Hash}
 	for _, v := range f.voters {
-		if refused := f.members[v.Name].admit(&h, &conn{}); refused == nil || refused.Why != forked {
+		if refused := f.members[v.Name].admitFollower(&h, &sealedConn{}); refused == nil || refused.Reason != reasonForked {
 			t.Errorf("%s: %+v", v.Name, refused)
 		}
 	}
@@ -154,7 +154,7 @@
 	bad := logentry.Hash{1}
 	before := f.members["v1"].View().State.Index
 	text := append(append([]byte{0, 0, 0, 0, 0, 0, 0, byte(before + 1)}, bad[:]...), "{}"...)
-	if err := f.members["v1"].takeEntry(text); err == nil || f.members["v1"].View().State.Index != before {
+	if err := f.members["v1"].applyEntry(text); err == nil || f.members["v1"].View().State.Index != before {
 		t.Errorf("an entry of another chain: %v", err)
 	}
 }
@@ -166,27 +166,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _, _ = r.port.Close(), r.state.st.Close() })
-	names := append(make([]string, 0, fan+4), "a", "b")
-	for i := range fan {
+	t.Cleanup(func() { _, _ = r.transport.Close(), r.stateFile.store.Close() })
+	names := append(make([]string, 0, maxFollowers+4), "a", "b")
+	for i := range maxFollowers {
 		names = append(names, fmt.Sprint("m", i))
 	}
 	for _, name := range names {
-		if refused := r.admit(&hello{Name: name, Addr: "at " + name, Hash: r.first.Hash}, &conn{}); refused != nil {
+		if refused := r.admitFollower(&hello{Name: name, Addr: "at " + name, Hash: r.initialState.Hash}, &sealedConn{}); refused != nil {
 			t.Fatalf("%s: %+v", name, refused)
 		}
 	}
-	refused := r.admit(&hello{Name: "late", Hash: r.first.Hash}, &conn{})
-	if refused == nil || len(refused.Others) != fan || refused.Others[0].Addr != "at "+refused.Others[0].Name {
+	refused := r.admitFollower(&hello{Name: "late", Hash: r.initialState.Hash}, &sealedConn{})
+	if refused == nil || len(refused.Alternatives) != maxFollowers || refused.Alternatives[0].Addr != "at "+refused.Alternatives[0].Name {
 		t.Errorf("one too many: %+v", refused)
 	}
-	if refused := r.admit(&hello{Name: "c", Hash: r.first.Hash}, &conn{}); refused != nil {
+	if refused := r.admitFollower(&hello{Name: "c", Hash: r.initialState.Hash}, &sealedConn{}); refused != nil {
 		t.Errorf("a voter: %+v", refused)
 	}
-	if refused := r.admit(&hello{Name: "d", Index: 1}, &conn{}); refused == nil || refused.Why != "behind" {
+	if refused := r.admitFollower(&hello{Name: "d", Index: 1}, &sealedConn{}); refused == nil || refused.Reason != "behind" {
 		t.Errorf("one who knows more: %+v", refused)
 	}
-	if n := r.View().Followers; n != len(names)+1 {
+	if n := r.View().FollowerCount; n != len(names)+1 {
 		t.Errorf("serves %d", n)
 	}
 }
--- a/internal/fleet/replog/fsm.go
+++ b/internal/fleet/replog/fsm.go
@@ -11,49 +11,49 @@
 
 // machine applies what raft has committed. It begins at raft's snapshot, which may be
 // behind what the member knows already from others.
-type machine struct {
-	r     *Replica
-	state *logentry.State
+type stateMachine struct {
+	replica *Replica
+	state   *logentry.State
 }
 
 // Apply takes one entry and returns its entry.Outcome.
-func (m *machine) Apply(l *raft.Log) any {
+func (m *stateMachine) Apply(l *raft.Log) any {
 	next, out := m.state.Apply(l.Data)
-	if known, ok := m.r.hub.hash(next.Index); ok && known != next.Hash {
+	if known, ok := m.replica.publisher.hashAt(next.Index); ok && known != next.Hash {
 		slog.Error("record: the log has another chain than what was heard before", "index", next.Index)
 	}
 	m.state = next
-	m.r.hub.put(next, l.Data)
+	m.replica.publisher.publishState(next, l.Data)
 	return out
 }
 
 // Snapshot returns the state as it is.
-func (m *machine) Snapshot() (raft.FSMSnapshot, error) { return still{m.state}, nil }
+func (m *stateMachine) Snapshot() (raft.FSMSnapshot, error) { return stateSnapshot{m.state}, nil }
 
 // Restore takes a state in place of all that was applied.
-func (m *machine) Restore(from io.ReadCloser) error {
+func (m *stateMachine) Restore(from io.ReadCloser) error {
 	defer func() { _ = from.Close() }()
-	b, err := io.ReadAll(io.LimitReader(from, mostState+1))
+	b, err := io.ReadAll(io.LimitReader(from, maxStateSize+1))
 	if err != nil {
 		return err
 	}
-	s, err := unsealState(b)
+	s, err := decodeState(b)
 	if err != nil {
 		return err
 	}
-	if err := s.AttachGenesis(m.r.o.Genesis); err != nil {
+	if err := s.AttachGenesis(m.replica.options.Genesis); err != nil {
 		return err
 	}
 	m.state = s
-	m.r.hub.put(s, nil)
+	m.replica.publisher.publishState(s, nil)
 	return nil
 }
 
-type still struct{ state *logentry.State }
+type stateSnapshot struct{ state *logentry.State }
 
 // Persist writes the state to raft's store.
-func (s still) Persist(to raft.SnapshotSink) error {
-	b, err := sealState(s.state)
+func (s stateSnapshot) Persist(to raft.SnapshotSink) error {
+	b, err := encodeState(s.state)
 	if err == nil {
 		_, err = to.Write(b)
 	}
@@ -65,4 +65,4 @@
 }
 
 // Release has nothing to let go: states are never changed in place.
-func (still) Release() {}
+func (stateSnapshot) Release() {}
--- a/internal/fleet/replog/listen.go
+++ b/internal/fleet/replog/listen.go
@@ -12,33 +12,33 @@
 
 // Bounds on who may be connected.
 const (
-	mostShaking = 32  // greetings at once; who has been at it longest makes room
-	mostConns   = 256 // of members that hold the key
+	maxHandshakes = 32  // greetings at once; who has been at it longest makes room
+	maxConns      = 256 // of members that hold the key
 )
 
 // port is the one listener, for raft, followers and proposals alike.
-type port struct {
+type transport struct {
 	net.Listener
-	key  []byte
-	from net.IP // calls go out from here
-	ctx  context.Context
-
-	mu      sync.Mutex
-	shaking []net.Conn
-	conns   map[net.Conn]struct{}
-	wg      sync.WaitGroup
+	key     []byte
+	localIP net.IP // calls go out from here
+	ctx     context.Context
+
+	mu          sync.Mutex
+	handshaking []net.Conn
+	conns       map[net.Conn]struct{}
+	wg          sync.WaitGroup
 }
 
-func newPort(o *Options) (*port, error) {
+func newTransport(o *Options) (*transport, error) {
 	l, err := net.Listen("tcp", o.Bind)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record.bind: %w", err)
 	}
-	return &port{Listener: l, key: o.Key, from: l.Addr().(*net.TCPAddr).IP, conns: map[net.Conn]struct{}{}}, nil
+	return &transport{Listener: l, key: o.Key, localIP: l.Addr().(*net.TCPAddr).IP, conns: map[net.Conn]struct{}{}}, nil
 }
 
 // serve hands each connection of a member to take, until ctx ends; then all are closed.
-func (p *port) serve(ctx context.Context, take func(kind byte, c *conn)) error {
+func (p *transport) serve(ctx context.Context, take func(kind byte, c *sealedConn)) error {
 	stop := context.AfterFunc(ctx, func() {
 		_ = p.Close()
 		p.mu.Lock()
@@ -46,7 +46,7 @@
 		for c := range p.conns {
 			_ = c.Close()
 		}
-		for _, c := range p.shaking {
+		for _, c := range p.handshaking {
 			_ = c.Close()
 		}
 	})
@@ -68,34 +68,34 @@
 			continue
 		}
 		p.mu.Lock()
-		if len(p.shaking) >= mostShaking {
-			_ = p.shaking[0].Close()
-			p.shaking = p.shaking[1:]
+		if len(p.handshaking) >= maxHandshakes {
+			_ = p.handshaking[0].Close()
+			p.handshaking = p.handshaking[1:]
 		}
-		p.shaking = append(p.shaking, c)
+		p.handshaking = append(p.handshaking, c)
 		p.mu.Unlock()
-		p.wg.Go(func() { p.greet(ctx, c, take) })
+		p.wg.Go(func() { p.serveConn(ctx, c, take) })
 	}
 }
 
 // greet lets in who holds the key. Until the first frame is opened a caller costs one
 // derivation, and is cut off after a time.
-func (p *port) greet(ctx context.Context, c net.Conn, take func(kind byte, c *conn)) {
+func (p *transport) serveConn(ctx context.Context, c net.Conn, take func(kind byte, c *sealedConn)) {
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(shake))
-	sealed, err := greet(c, p.key, false)
+	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
+	sealed, err := handshake(c, p.key, false)
 	var kind [1]byte
 	if err == nil {
 		_, err = sealed.Read(kind[:])
 	}
 	p.mu.Lock()
-	for i := range p.shaking {
-		if p.shaking[i] == c {
-			p.shaking = append(p.shaking[:i:i], p.shaking[i+1:]...)
+	for i := range p.handshaking {
+		if p.handshaking[i] == c {
+			p.handshaking = append(p.handshaking[:i:i], p.handshaking[i+1:]...)
 			break
 		}
 	}
-	if err != nil || len(p.conns) >= mostConns || ctx.Err() != nil {
+	if err != nil || len(p.conns) >= maxConns || ctx.Err() != nil {
 		p.mu.Unlock()
 		return
 	}
@@ -111,17 +111,17 @@
 }
 
 // dial calls a member.
-func (p *port) dial(ctx context.Context, addr string, kind byte, timeout time.Duration) (*conn, error) {
+func (p *transport) dial(ctx context.Context, addr string, kind byte, timeout time.Duration) (*sealedConn, error) {
 	d := net.Dialer{Timeout: timeout}
-	if !p.from.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: p.from}
+	if !p.localIP.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
 	}
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Now().Add(timeout))
-	sealed, err := greet(c, p.key, true)
+	sealed, err := handshake(c, p.key, true)
 	if err == nil {
 		_, err = sealed.Write([]byte{kind})
 	}
@@ -134,49 +134,49 @@
 }
 
 // layer is raft's way through the port, and can be cut at once. It is one run of raft's.
-type layer struct {
-	p    *port
-	addr addr
-	come chan net.Conn
-	ctx  context.Context
-	end  context.CancelFunc
+type raftLayer struct {
+	transport *transport
+	addr      raftAddr
+	accepted  chan net.Conn
+	ctx       context.Context
+	cancel    context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*raftConn]struct{}
 }
 
-type addr string
+type raftAddr string
 
-func (addr) Network() string  { return "tcp" }
-func (a addr) String() string { return string(a) }
+func (raftAddr) Network() string  { return "tcp" }
+func (a raftAddr) String() string { return string(a) }
 
 // raftConn tells its layer when it is closed.
 type raftConn struct {
 	net.Conn
-	l    *layer
-	once sync.Once
-	gone chan struct{}
+	layer  *raftLayer
+	once   sync.Once
+	closed chan struct{}
 }
 
 func (c *raftConn) Close() error {
 	c.once.Do(func() {
-		c.l.mu.Lock()
-		delete(c.l.conns, c)
-		c.l.mu.Unlock()
-		close(c.gone)
+		c.layer.mu.Lock()
+		delete(c.layer.conns, c)
+		c.layer.mu.Unlock()
+		close(c.closed)
 	})
 	return c.Conn.Close()
 }
 
-func newLayer(ctx context.Context, p *port, at string) *layer {
-	l := &layer{p: p, addr: addr(at), come: make(chan net.Conn), conns: map[*raftConn]struct{}{}}
-	l.ctx, l.end = context.WithCancel(ctx)
+func newRaftLayer(ctx context.Context, p *transport, at string) *raftLayer {
+	l := &raftLayer{transport: p, addr: raftAddr(at), accepted: make(chan net.Conn), conns: map[*raftConn]struct{}{}}
+	l.ctx, l.cancel = context.WithCancel(ctx)
 	return l
 }
 
 // track keeps a connection to be cut, unless all are cut already.
-func (l *layer) track(c net.Conn) (*raftConn, error) {
-	rc := &raftConn{Conn: c, l: l, gone: make(chan struct{})}
+func (l *raftLayer) track(c net.Conn) (*raftConn, error) {
+	rc := &raftConn{Conn: c, layer: l, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ctx.Err() != nil {
@@ -188,46 +188,46 @@
 }
 
 // give hands raft a connection that was accepted, and returns when it is done with.
-func (l *layer) give(c *conn) {
+func (l *raftLayer) deliver(c *sealedConn) {
 	rc, err := l.track(c)
 	if err != nil {
 		return
 	}
 	defer func() { _ = rc.Close() }()
 	select {
-	case l.come <- rc:
+	case l.accepted <- rc:
 	case <-l.ctx.Done():
 		return
 	}
 	select {
-	case <-rc.gone:
+	case <-rc.closed:
 	case <-l.ctx.Done():
 	}
 }
 
-func (l *layer) Accept() (net.Conn, error) {
+func (l *raftLayer) Accept() (net.Conn, error) {
 	select {
-	case c := <-l.come:
+	case c := <-l.accepted:
 		return c, nil
 	case <-l.ctx.Done():
 		return nil, net.ErrClosed
 	}
 }
 
-func (l *layer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	c, err := l.p.dial(l.ctx, string(to), forRaft, timeout)
+func (l *raftLayer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	c, err := l.transport.dial(l.ctx, string(to), purposeRaft, timeout)
 	if err != nil {
 		return nil, err
 	}
 	return l.track(c)
 }
 
-func (l *layer) Addr() net.Addr { return l.addr }
+func (l *raftLayer) Addr() net.Addr { return l.addr }
 
 // Close cuts all connections before it returns: nothing that raft says later goes out.
-func (l *layer) Close() error {
+func (l *raftLayer) Close() error {
 	l.mu.Lock()
-	l.end()
+	l.cancel()
 	conns := l.conns
 	l.conns = map[*raftConn]struct{}{}
 	l.mu.Unlock()
--- a/internal/fleet/replog/message.go
+++ b/internal/fleet/replog/message.go
@@ -11,32 +11,32 @@
 
 // What a connection is for: the first byte that the caller says.
 const (
-	forRaft    = 'R'
-	forFollow  = 'F'
-	forPropose = 'P'
-	forAsk     = 'A'
+	purposeRaft         = 'R'
+	purposeFollow       = 'F'
+	purposePropose      = 'P'
+	purposeVoterRequest = 'A'
 )
 
 // Kinds of message after that, on all but raft's connections: a byte, four of length, and
 // so much text.
 const (
-	msgHello   = 'h' // JSON: hello
-	msgNo      = 'n' // JSON: no
-	msgEntry   = 'e' // eight bytes of index, the chain's hash after it, the entry
-	msgState   = 's' // a whole state: its sum, and JSON
-	msgBeat    = 'b' // JSON: beat
-	msgNumber  = 'c' // eight bytes, from the follower
-	msgPropose = 'p' // an entry
-	msgAnswer  = 'a' // JSON: answer
-	msgAsk     = 'q' // JSON: ask
-	msgMine    = 'm' // JSON: mine
+	msgHello          = 'h' // JSON: hello
+	msgRejection      = 'n' // JSON: no
+	msgEntry          = 'e' // eight bytes of index, the chain's hash after it, the entry
+	msgState          = 's' // a whole state: its sum, and JSON
+	msgHeartbeat      = 'b' // JSON: beat
+	msgSequence       = 'c' // eight bytes, from the follower
+	msgProposal       = 'p' // an entry
+	msgProposalResult = 'a' // JSON: answer
+	msgVoterRequest   = 'q' // JSON: ask
+	msgVoterInfo      = 'm' // JSON: mine
 )
 
 // Bounds on what is read.
 const (
-	mostState = 64 << 20
-	mostShort = 64 << 10
-	mostEntry = logentry.MaxSize + 8 + len(logentry.Hash{})
+	maxStateSize        = 64 << 20
+	maxControlSize      = 64 << 10
+	maxEntryMessageSize = logentry.MaxSize + 8 + len(logentry.Hash{})
 )
 
 // hello is a follower's first word.
@@ -48,28 +48,28 @@
 }
 
 // no turns a follower away.
-type no struct {
-	Why    string `json:"why"`
-	Others []Peer `json:"others,omitempty"` // who may have room
+type rejection struct {
+	Reason       string `json:"why"`
+	Alternatives []Peer `json:"others,omitempty"` // who may have room
 }
 
 // beat says how old the word is that all up to here rests on.
-type beat struct {
-	Number uint64   `json:"n,omitempty"` // the follower's last that was read; 0 if nothing was ever heard
-	Age    int64    `json:"a"`           // microseconds, when that number was read; negative for a word that came later
-	Leader string   `json:"l,omitempty"` // as the server knows it
-	Path   []string `json:"p"`           // of the word: from the leader to the server
+type heartbeat struct {
+	Sequence  uint64   `json:"n,omitempty"` // the follower's last that was read; 0 if nothing was ever heard
+	AgeMicros int64    `json:"a"`           // microseconds, when that number was read; negative for a word that came later
+	Leader    string   `json:"l,omitempty"` // as the server knows it
+	Path      []string `json:"p"`           // of the word: from the leader to the server
 }
 
 // answer is what became of a proposal.
-type answer struct {
-	Outcome logentry.Outcome `json:"outcome"`
-	Fault   string           `json:"fault,omitempty"`  // empty where Outcome counts
-	Unknown bool             `json:"unknown"`          // it may or may not become part of the log
-	Leader  string           `json:"leader,omitempty"` // of who does not lead: who does, if known
+type proposalResult struct {
+	Outcome        logentry.Outcome `json:"outcome"`
+	Error          string           `json:"fault,omitempty"`  // empty where Outcome counts
+	OutcomeUnknown bool             `json:"unknown"`          // it may or may not become part of the log
+	Leader         string           `json:"leader,omitempty"` // of who does not lead: who does, if known
 }
 
-func say(w io.Writer, kind byte, parts ...[]byte) error {
+func writeMessage(w io.Writer, kind byte, parts ...[]byte) error {
 	size := 0
 	for _, p := range parts {
 		size += len(p)
@@ -83,16 +83,16 @@
 	return err
 }
 
-func sayJSON(w io.Writer, kind byte, v any) error {
+func writeJSON(w io.Writer, kind byte, v any) error {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return err
 	}
-	return say(w, kind, b)
+	return writeMessage(w, kind, b)
 }
 
 // hear reads one message of at most so many bytes.
-func hear(r io.Reader, most int) (kind byte, text []byte, err error) {
+func readMessage(r io.Reader, most int) (kind byte, text []byte, err error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, nil, err
@@ -107,8 +107,8 @@
 }
 
 // hearJSON reads a message of that kind.
-func hearJSON(r io.Reader, want byte, v any) error {
-	kind, text, err := hear(r, mostShort)
+func readJSON(r io.Reader, want byte, v any) error {
+	kind, text, err := readMessage(r, maxControlSize)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/replog/number_test.go
+++ b/internal/fleet/replog/number_test.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Replica{o: Options{Name: name, Lease: defaultLease}, me: Peer{Name: name}, hub: newHub(first), children: map[string]*conn{}}
+	return &Replica{options: Options{Name: name, Lease: defaultLease}, self: Peer{Name: name}, publisher: newPublisher(first), followers: map[string]*sealedConn{}}
 }
 
 // A word that waits on its way, or whose number does, is taken for no younger than it is.
@@ -50,7 +50,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var wire *heldConn
 				up, down := bare(t, "up"), bare(t, "down")
-				down.first = up.first
+				down.initialState = up.initialState
 				caller, called := pair(t, "0123456789abcdef", "0123456789abcdef", func(c net.Conn) net.Conn {
 					wire = &heldConn{Conn: c}
 					return wire
@@ -58,10 +58,10 @@
 				_, _ = caller.SetDeadline(time.Time{}), called.SetDeadline(time.Time{})
 				ctx, cancel := context.WithCancel(context.Background())
 				ended := make(chan error, 1)
-				up.hub.heard(time.Now(), "up", nil)
-				go up.feed(ctx, called)
+				up.publisher.confirmLeader(time.Now(), "up", nil)
+				go up.serveFollower(ctx, called)
 				go func() {
-					_, _, err := down.listen(ctx, caller, Peer{Name: "up"}, true)
+					_, _, err := down.receive(ctx, caller, Peer{Name: "up"}, true)
 					ended <- err
 				}()
 				defer func() {
@@ -71,22 +71,22 @@
 						t.Error("no error at the end")
 					}
 				}()
-				heard := func() time.Time { return down.hub.view.Load().ConfirmedAt }
+				heard := func() time.Time { return down.publisher.view.Load().ConfirmedAt }
 				for range 4 {
 					synctest.Wait()
-					if got, want := heard(), up.hub.view.Load().ConfirmedAt; !got.Equal(want) {
+					if got, want := heard(), up.publisher.view.Load().ConfirmedAt; !got.Equal(want) {
 						t.Fatalf("nothing is held: a word of %v is taken for one of %v", want, got)
 					}
-					time.Sleep(up.o.pulse())
-					up.hub.heard(time.Now(), "up", nil)
+					time.Sleep(up.options.heartbeatInterval())
+					up.publisher.confirmLeader(time.Now(), "up", nil)
 				}
-				time.Sleep(up.o.pulse())
+				time.Sleep(up.options.heartbeatInterval())
 				synctest.Wait()
 				hold(wire, time.Now().Add(held))
 				last := time.Now()
-				up.hub.heard(last, "up", nil) // nobody is heard after this
+				up.publisher.confirmLeader(last, "up", nil) // nobody is heard after this
 				for range 8 {
-					time.Sleep(up.o.pulse())
+					time.Sleep(up.options.heartbeatInterval())
 					synctest.Wait()
 					if got := heard(); got.After(last) {
 						t.Fatalf("taken for younger by %v", got.Sub(last))
@@ -107,26 +107,26 @@
 	defer func() { _, _ = a.Close(), b.Close() }()
 	go func() {
 		for n := range uint64(2) {
-			_ = say(a, msgNumber, binary.BigEndian.AppendUint64(nil, n+2))
+			_ = writeMessage(a, msgSequence, binary.BigEndian.AppendUint64(nil, n+2))
 		}
 	}()
-	read := readNumbers{last: 1, told: true}
-	if err := read.read(b); err != nil {
+	read := upstreamClock{lastSequence: 1, acknowledged: true}
+	if err := read.readSequence(b); err != nil {
 		t.Fatal(err)
 	}
-	if err := read.read(b); !errors.Is(err, errNumber) {
+	if err := read.readSequence(b); !errors.Is(err, errSequence) {
 		t.Errorf("one that was not awaited: %v", err)
 	}
-	sent := sentNumbers{last: 7, at: time.Now(), prior: time.Now().Add(-time.Minute)}
+	sent := followerClock{lastSequence: 7, sentAt: time.Now(), previousSentAt: time.Now().Add(-time.Minute)}
 	for number, fine := range map[uint64]bool{5: false, 7: true, 8: false} {
-		if _, err := sent.word(&beat{Number: number}, time.Second); errors.Is(err, errNumber) == fine {
+		if _, err := sent.confirmedAt(&heartbeat{Sequence: number}, time.Second); errors.Is(err, errSequence) == fine {
 			t.Errorf("number %d: %v", number, err)
 		}
 	}
-	if _, err := sent.word(&beat{Number: 6}, time.Second); err == nil {
+	if _, err := sent.confirmedAt(&heartbeat{Sequence: 6}, time.Second); err == nil {
 		t.Error("a number of a minute ago is good still")
 	}
-	if at, err := sent.word(&beat{Number: 7, Age: -1 << 40}, time.Second); err != nil || at.After(time.Now()) {
+	if at, err := sent.confirmedAt(&heartbeat{Sequence: 7, AgeMicros: -1 << 40}, time.Second); err != nil || at.After(time.Now()) {
 		t.Errorf("a word of the future: %v, %v", at, err)
 	}
 }
--- a/internal/fleet/replog/options.go
+++ b/internal/fleet/replog/options.go
@@ -51,14 +51,14 @@
 }
 
 const (
-	defaultLease = 2 * time.Second
-	leastLease   = 200 * time.Millisecond
-	leastKey     = 16
-	longestName  = 64
+	defaultLease  = 2 * time.Second
+	minLease      = 200 * time.Millisecond
+	minKeyLength  = 16
+	maxNameLength = 64
 )
 
 // check fills in what was left out and names the key that can't be worked with.
-func (o *Options) check() error {
+func (o *Options) normalize() error {
 	if o.Lease == 0 {
 		o.Lease = defaultLease
 	}
@@ -72,14 +72,14 @@
 		o.InjectFault = func(string) error { return nil }
 	}
 	switch {
-	case o.Name == "" || len(o.Name) > longestName:
-		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", o.Name, longestName)
+	case o.Name == "" || len(o.Name) > maxNameLength:
+		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", o.Name, maxNameLength)
 	case o.Dir == "":
 		return errors.New("fleet.record.dir: empty, want a folder")
-	case len(o.Key) < leastKey:
-		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(o.Key), leastKey)
-	case o.Lease < leastLease:
-		return fmt.Errorf("fleet.record.lease: %v, want %v at least", o.Lease, leastLease)
+	case len(o.Key) < minKeyLength:
+		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(o.Key), minKeyLength)
+	case o.Lease < minLease:
+		return fmt.Errorf("fleet.record.lease: %v, want %v at least", o.Lease, minLease)
 	}
 	if _, err := netip.ParseAddrPort(o.Bind); err != nil {
 		return fmt.Errorf("fleet.record.bind: %w", err)
@@ -98,8 +98,8 @@
 	}
 	seen, zones := map[string]bool{}, map[string]int{}
 	for _, v := range voters {
-		if v.Name == "" || len(v.Name) > longestName {
-			return bad("name %q, want 1 to %d bytes", v.Name, longestName)
+		if v.Name == "" || len(v.Name) > maxNameLength {
+			return bad("name %q, want 1 to %d bytes", v.Name, maxNameLength)
 		}
 		if _, _, err := net.SplitHostPort(v.Addr); err != nil {
 			return bad("%s: %w", v.Name, err)
@@ -123,7 +123,7 @@
 }
 
 // voter returns the voter of that name.
-func (o *Options) voter(name string) (Voter, bool) {
+func (o *Options) findVoter(name string) (Voter, bool) {
 	for _, v := range o.Voters {
 		if v.Name == name {
 			return v, true
@@ -136,6 +136,6 @@
 // election, which is decided within one more; a leader cut off from the others steps down
 // after half of beat. All of it is each process's own monotonic time: clocks that differ do
 // no harm.
-func (o *Options) beat() time.Duration    { return o.Lease / 5 }
-func (o *Options) pulse() time.Duration   { return o.Lease / 8 } // a leader's word that it still leads
-func (o *Options) silence() time.Duration { return o.Lease / 2 } // an upstream silent for so long is left
+func (o *Options) electionTimeout() time.Duration   { return o.Lease / 5 }
+func (o *Options) heartbeatInterval() time.Duration { return o.Lease / 8 } // a leader's word that it still leads
+func (o *Options) peerTimeout() time.Duration       { return o.Lease / 2 } // an upstream silent for so long is left
--- a/internal/fleet/replog/propose.go
+++ b/internal/fleet/replog/propose.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	mostProposals = 64              // under way at the leader
-	mostWait      = 5 * time.Second // for an answer
+	maxProposals   = 64              // under way at the leader
+	requestTimeout = 5 * time.Second // for an answer
 )
 
 // Propose brings an entry to the leader and returns what became of it, once it is committed
@@ -38,7 +38,7 @@
 	if len(raw) > logentry.MaxSize {
 		return logentry.Outcome{}, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), logentry.MaxSize)
 	}
-	ctx, cancel := context.WithTimeout(ctx, mostWait)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	last := errors.New("no leader is known")
 	for hint, turn := "", 0; ; turn++ {
@@ -46,23 +46,23 @@
 		if leader == "" {
 			leader = r.View().Leader
 		}
-		to, ok := r.o.voter(leader)
+		to, ok := r.options.findVoter(leader)
 		if !ok || turn%2 == 1 && hint == "" { // what is known may be old: any voter may know better
-			to = r.o.Voters[turn/2%len(r.o.Voters)]
+			to = r.options.Voters[turn/2%len(r.options.Voters)]
 		}
-		var a answer
-		if to.Name == r.me.Name {
-			a = r.decide(ctx, raw)
+		var a proposalResult
+		if to.Name == r.self.Name {
+			a = r.proposeLocally(ctx, raw)
 		} else {
-			a = r.send(ctx, to, raw)
+			a = r.forwardProposal(ctx, to, raw)
 		}
 		switch {
-		case a.Unknown:
-			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrOutcomeUnknown, to.Name, a.Fault)
-		case a.Fault == "":
+		case a.OutcomeUnknown:
+			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrOutcomeUnknown, to.Name, a.Error)
+		case a.Error == "":
 			return a.Outcome, nil
 		}
-		last = fmt.Errorf("%s: %s", to.Name, a.Fault)
+		last = fmt.Errorf("%s: %s", to.Name, a.Error)
 		if hint = a.Leader; hint == to.Name {
 			hint = ""
 		}
@@ -70,7 +70,7 @@
 			continue
 		}
 		select {
-		case <-time.After(retry):
+		case <-time.After(retryInterval):
 		case <-ctx.Done():
 			return logentry.Outcome{}, fmt.Errorf("not proposed: %w: %w", ctx.Err(), last)
 		}
@@ -78,79 +78,79 @@
 }
 
 // send asks another member. Up to the moment that the entry goes out its faults are sure.
-func (r *Replica) send(ctx context.Context, to Voter, raw []byte) (a answer) {
-	c, err := r.port.dial(ctx, to.Addr, forPropose, r.o.silence()/2)
+func (r *Replica) forwardProposal(ctx context.Context, to Voter, raw []byte) (a proposalResult) {
+	c, err := r.transport.dial(ctx, to.Addr, purposePropose, r.options.peerTimeout()/2)
 	if err != nil {
-		return answer{Fault: err.Error()}
+		return proposalResult{Error: err.Error()}
 	}
 	defer func() { _ = c.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
-	if err = say(c, msgPropose, raw); err == nil {
-		err = hearJSON(c, msgAnswer, &a)
+	if err = writeMessage(c, msgProposal, raw); err == nil {
+		err = readJSON(c, msgProposalResult, &a)
 	}
 	if err != nil {
-		return answer{Unknown: true, Fault: err.Error()}
+		return proposalResult{OutcomeUnknown: true, Error: err.Error()}
 	}
 	return a
 }
 
 // answerProposal serves one proposal of another member.
-func (r *Replica) answerProposal(ctx context.Context, c *conn) {
-	kind, raw, err := hear(c, mostEntry)
-	if err != nil || kind != msgPropose {
+func (r *Replica) serveProposal(ctx context.Context, c *sealedConn) {
+	kind, raw, err := readMessage(c, maxEntryMessageSize)
+	if err != nil || kind != msgProposal {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, mostWait)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	_ = sayJSON(c, msgAnswer, r.decide(ctx, raw))
+	_ = writeJSON(c, msgProposalResult, r.proposeLocally(ctx, raw))
 }
 
 // decide proposes an entry here, if this member leads.
-func (r *Replica) decide(ctx context.Context, raw []byte) answer {
+func (r *Replica) proposeLocally(ctx context.Context, raw []byte) proposalResult {
 	ra := r.raft.Load()
 	if ra == nil || ra.State() != raft.Leader {
-		return answer{Fault: errNotLeader.Error(), Leader: r.View().Leader}
+		return proposalResult{Error: errNotLeader.Error(), Leader: r.View().Leader}
 	}
 	select {
-	case r.proposes <- struct{}{}:
+	case r.proposalSlots <- struct{}{}:
 	default:
-		return answer{Fault: errBusy.Error()}
+		return proposalResult{Error: errBusy.Error()}
 	}
-	done := make(chan answer, 1)
+	done := make(chan proposalResult, 1)
 	go func() { // ends with its raft, at the latest when that steps down
-		defer func() { <-r.proposes }()
-		done <- r.commit(ra, raw)
+		defer func() { <-r.proposalSlots }()
+		done <- r.commitEntry(ra, raw)
 	}()
 	select {
 	case a := <-done:
 		return a
 	case <-ctx.Done():
-		return answer{Unknown: true, Fault: ctx.Err().Error()}
+		return proposalResult{OutcomeUnknown: true, Error: ctx.Err().Error()}
 	}
 }
 
 // commit takes an entry through raft. What would not be taken is refused at once, by a state
 // that a barrier has brought up to date: VerifyLeader is not enough, as an answer to a
 // heartbeat from before this process was stopped for a while can confirm it.
-func (r *Replica) commit(ra *raft.Raft, raw []byte) answer {
-	if r.IsLeader() && r.hub.view.Load().State.Check(raw) != nil && ra.Barrier(mostWait).Error() == nil {
-		if err := r.hub.view.Load().State.Check(raw); err != nil {
-			return answer{Outcome: logentry.Outcome{Reason: err.Error()}}
+func (r *Replica) commitEntry(ra *raft.Raft, raw []byte) proposalResult {
+	if r.IsLeader() && r.publisher.view.Load().State.Check(raw) != nil && ra.Barrier(requestTimeout).Error() == nil {
+		if err := r.publisher.view.Load().State.Check(raw); err != nil {
+			return proposalResult{Outcome: logentry.Outcome{Reason: err.Error()}}
 		}
 	}
-	if r.o.Mutations.ApplyUncommitted {
-		next, out := r.hub.view.Load().State.Apply(raw)
-		r.hub.put(next, raw)
-		ra.Apply(raw, mostWait)
-		return answer{Outcome: out}
+	if r.options.Mutations.ApplyUncommitted {
+		next, out := r.publisher.view.Load().State.Apply(raw)
+		r.publisher.publishState(next, raw)
+		ra.Apply(raw, requestTimeout)
+		return proposalResult{Outcome: out}
 	}
-	f := ra.Apply(raw, mostWait)
+	f := ra.Apply(raw, requestTimeout)
 	switch err := f.Error(); {
 	case err == nil:
-		return answer{Outcome: f.Response().(logentry.Outcome)}
+		return proposalResult{Outcome: f.Response().(logentry.Outcome)}
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
-		return answer{Fault: err.Error()}
+		return proposalResult{Error: err.Error()}
 	default:
-		return answer{Unknown: true, Fault: err.Error()}
+		return proposalResult{OutcomeUnknown: true, Error: err.Error()}
 	}
 }
--- a/internal/fleet/replog/raftstore.go
+++ b/internal/fleet/replog/raftstore.go
@@ -20,13 +20,13 @@
 )
 
 var (
-	castagnoli = crc32.MakeTable(crc32.Castagnoli)
-	errLog     = errors.New("its sum is not good")
+	castagnoli    = crc32.MakeTable(crc32.Castagnoli)
+	errCorruptLog = errors.New("its sum is not good")
 )
 
 // formatLog writes index, term, time, kind, length of the extensions, these, the data, and
 // a sum over all: bbolt has none of its own over values.
-func formatLog(l *raft.Log) []byte {
+func encodeLog(l *raft.Log) []byte {
 	b := make([]byte, 0, 33+len(l.Extensions)+len(l.Data))
 	b = binary.BigEndian.AppendUint64(b, l.Index)
 	b = binary.BigEndian.AppendUint64(b, l.Term)
@@ -41,9 +41,9 @@
 	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
 }
 
-func parseLog(b []byte) (*raft.Log, error) {
+func decodeLog(b []byte) (*raft.Log, error) {
 	if len(b) < 33 || crc32.Checksum(b[:len(b)-4], castagnoli) != binary.BigEndian.Uint32(b[len(b)-4:]) {
-		return nil, errLog
+		return nil, errCorruptLog
 	}
 	l := &raft.Log{Index: binary.BigEndian.Uint64(b), Term: binary.BigEndian.Uint64(b[8:]), Type: raft.LogType(b[24])}
 	if at := int64(binary.BigEndian.Uint64(b[16:])); at != 0 {
@@ -52,7 +52,7 @@
 	rest := b[29 : len(b)-4]
 	n := binary.BigEndian.Uint32(b[25:])
 	if uint64(n) > uint64(len(rest)) {
-		return nil, errLog
+		return nil, errCorruptLog
 	}
 	if n > 0 {
 		l.Extensions = bytes.Clone(rest[:n])
@@ -62,24 +62,24 @@
 }
 
 // FirstIndex returns the first entry's index, or 0.
-func (d *disk) FirstIndex() (uint64, error) {
+func (d *voterStore) FirstIndex() (uint64, error) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.first, nil
+	return d.firstIndex, nil
 }
 
 // LastIndex returns the last entry's index, or 0.
-func (d *disk) LastIndex() (uint64, error) {
+func (d *voterStore) LastIndex() (uint64, error) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.last, nil
+	return d.lastIndex, nil
 }
 
 // GetLog reads one entry.
-func (d *disk) GetLog(index uint64, l *raft.Log) error {
+func (d *voterStore) GetLog(index uint64, l *raft.Log) error {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	got, ok := d.logs[index]
+	got, ok := d.entries[index]
 	if !ok {
 		return raft.ErrLogNotFound
 	}
@@ -88,11 +88,11 @@
 }
 
 // StoreLog writes one entry.
-func (d *disk) StoreLog(l *raft.Log) error { return d.StoreLogs([]*raft.Log{l}) }
+func (d *voterStore) StoreLog(l *raft.Log) error { return d.StoreLogs([]*raft.Log{l}) }
 
 // StoreLogs writes entries; they are durable when it returns. Those after a gap, as behind a
 // snapshot that came from the leader, take the place of all before them.
-func (d *disk) StoreLogs(logs []*raft.Log) error {
+func (d *voterStore) StoreLogs(logs []*raft.Log) error {
 	if len(logs) == 0 {
 		return nil
 	}
@@ -105,7 +105,7 @@
 	return d.update("log", func(tx *store.Tx) error {
 		b := tx.Bucket(logsBucket)
 		for _, l := range logs {
-			if err := b.Put(binary.BigEndian.AppendUint64(nil, l.Index), formatLog(l)); err != nil {
+			if err := b.Put(binary.BigEndian.AppendUint64(nil, l.Index), encodeLog(l)); err != nil {
 				return err
 			}
 		}
@@ -113,17 +113,17 @@
 	}, func() {
 		for _, l := range logs {
 			c := *l
-			d.logs[l.Index] = &c
-			d.last = max(d.last, l.Index)
-			if d.first == 0 || l.Index < d.first {
-				d.first = l.Index
+			d.entries[l.Index] = &c
+			d.lastIndex = max(d.lastIndex, l.Index)
+			if d.firstIndex == 0 || l.Index < d.firstIndex {
+				d.firstIndex = l.Index
 			}
 		}
 	})
 }
 
 // DeleteRange drops entries, both ends too.
-func (d *disk) DeleteRange(from, to uint64) error {
+func (d *voterStore) DeleteRange(from, to uint64) error {
 	return d.update("log", func(tx *store.Tx) error {
 		b := tx.Bucket(logsBucket)
 		for i := from; i <= to; i++ {
@@ -134,13 +134,13 @@
 		return nil
 	}, func() {
 		for i := from; i <= to; i++ {
-			delete(d.logs, i)
+			delete(d.entries, i)
 		}
-		d.first, d.last = 0, 0
-		for i := range d.logs {
-			d.last = max(d.last, i)
-			if d.first == 0 || i < d.first {
-				d.first = i
+		d.firstIndex, d.lastIndex = 0, 0
+		for i := range d.entries {
+			d.lastIndex = max(d.lastIndex, i)
+			if d.firstIndex == 0 || i < d.firstIndex {
+				d.firstIndex = i
 			}
 		}
 	})
@@ -149,18 +149,18 @@
 // Set writes a value. A vote is its term and its candidate: the term comes first and waits
 // for the other, as half a vote, met again after a crash, would be taken for one that was
 // given to the candidate before.
-func (d *disk) Set(key, value []byte) error {
+func (d *voterStore) Set(key, value []byte) error {
 	value = bytes.Clone(value)
 	if bytes.Equal(key, voteTermKey) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.vote = value
+		d.pendingVoteTerm = value
 		return nil
 	}
 	d.mu.RLock()
 	pairs, same := map[string][]byte{string(key): value}, bytes.Equal(d.stable[string(key)], value)
-	if bytes.Equal(key, voteKey) && d.vote != nil {
-		pairs[string(voteTermKey)], same = d.vote, false
+	if bytes.Equal(key, voteKey) && d.pendingVoteTerm != nil {
+		pairs[string(voteTermKey)], same = d.pendingVoteTerm, false
 	}
 	d.mu.RUnlock()
 	if same {
@@ -174,7 +174,7 @@
 		}
 		return nil
 	}, func() {
-		d.vote = nil
+		d.pendingVoteTerm = nil
 		for k, v := range pairs {
 			d.stable[k] = v
 		}
@@ -182,7 +182,7 @@
 }
 
 // Get reads a value; none is empty.
-func (d *disk) Get(key []byte) ([]byte, error) {
+func (d *voterStore) Get(key []byte) ([]byte, error) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.stable[string(key)], nil
@@ -190,7 +190,7 @@
 
 // SetUint64 writes a number. Raft panics where its term can't be written, so that is told
 // as done: by then every connection of raft's is cut, and nobody hears of the new term.
-func (d *disk) SetUint64(key []byte, n uint64) error {
+func (d *voterStore) SetUint64(key []byte, n uint64) error {
 	err := d.Set(key, binary.BigEndian.AppendUint64(nil, n))
 	if bytes.Equal(key, termKey) {
 		return nil
@@ -199,7 +199,7 @@
 }
 
 // GetUint64 reads a number; none is 0.
-func (d *disk) GetUint64(key []byte) (uint64, error) {
+func (d *voterStore) GetUint64(key []byte) (uint64, error) {
 	b, _ := d.Get(key)
 	if len(b) != 8 {
 		return 0, nil
--- a/internal/fleet/replog/rank.go
+++ b/internal/fleet/replog/rank.go
@@ -7,9 +7,9 @@
 )
 
 // fan is how many followers a member serves; voters are served beside them.
-const fan = 8
+const maxFollowers = 8
 
-func weight(parts ...string) uint64 {
+func hashWeight(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
 		_, _ = h.Write([]byte(p))
@@ -27,7 +27,7 @@
 // is its own (rendezvous), then those nearer to the leader, then the leader, and in need its
 // own layer and those below, where the word's path tells of a circle. The first so many suit
 // it; whom it asks behind them it leaves again when it can.
-func order(self string, voters []Voter, peers []Peer, leader string) (list []Peer, suit int) {
+func rankUpstreams(self string, voters []Voter, peers []Peer, leader string) (list []Peer, suit int) {
 	votes := map[string]bool{}
 	var above []Peer
 	var lead []Peer
@@ -42,7 +42,7 @@
 		}
 	}
 	byRank := func(list []Peer) {
-		slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(weight(self, a.Name), weight(self, b.Name)) })
+		slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(hashWeight(self, a.Name), hashWeight(self, b.Name)) })
 	}
 	byRank(above)
 	rest := []Peer{{Name: self}}
@@ -52,7 +52,7 @@
 		}
 	}
 	slices.SortFunc(rest, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(weight(a.Name), weight(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(hashWeight(a.Name), hashWeight(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	if votes[self] { // it speaks with the leader anyway
 		rest = slices.DeleteFunc(rest, func(p Peer) bool { return p.Name == self })
@@ -61,7 +61,7 @@
 	}
 	nearer := [][]Peer{above}
 	var below []Peer
-	for room, reached := max(len(voters)-1, 1)*fan, false; len(rest) > 0; room *= fan {
+	for room, reached := max(len(voters)-1, 1)*maxFollowers, false; len(rest) > 0; room *= maxFollowers {
 		layer := slices.Clone(rest[:min(room, len(rest))])
 		rest = rest[len(layer):]
 		if at := slices.IndexFunc(layer, func(p Peer) bool { return p.Name == self }); at >= 0 {
--- a/internal/fleet/replog/record.go
+++ b/internal/fleet/replog/record.go
@@ -15,51 +15,51 @@
 
 // Record is one member's part in the record. All of it may be called from any goroutine.
 type Replica struct {
-	o     Options
-	me    Peer
-	votes bool // this member is among the voters
-	port  *port
-	hub   *hub
-	first *logentry.State // before the first entry
+	options      Options
+	self         Peer
+	isVoter      bool // this member is among the voters
+	transport    *transport
+	publisher    *publisher
+	initialState *logentry.State // before the first entry
 
-	raft  atomic.Pointer[raft.Raft] // nil while this member has no vote
-	layer atomic.Pointer[layer]     // raft's, as long
-	ready atomic.Uint64             // the term in which it led and had applied all that was committed before
-	own   atomic.Pointer[mine]      // what it says to who asks; a voter with an open disk
+	raft      atomic.Pointer[raft.Raft] // nil while this member has no vote
+	raftLayer atomic.Pointer[raftLayer] // raft's, as long
+	readyTerm atomic.Uint64             // the term in which it led and had applied all that was committed before
+	voterInfo atomic.Pointer[voterInfo] // what it says to who asks; a voter with an open disk
 
-	mu       sync.Mutex
-	children map[string]*conn // whom it feeds
-	unhook   func()           // makes it choose its upstream again
-	proposes chan struct{}    // one for each proposal under way here as leader
-	state    *stateFile
+	mu            sync.Mutex
+	followers     map[string]*sealedConn // whom it feeds
+	leaveUpstream func()                 // makes it choose its upstream again
+	proposalSlots chan struct{}          // one for each proposal under way here as leader
+	stateFile     *stateFile
 }
 
 // Open checks the options, takes the listener and reads what this member knew last. A fault
 // of the options names its key. A disk that can't be used is no fault: see View.Disk.
 func Open(o Options) (*Replica, error) {
-	if err := o.check(); err != nil {
+	if err := o.normalize(); err != nil {
 		return nil, err
 	}
 	first, err := logentry.NewState(o.Genesis)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record: %w", err)
 	}
-	r := &Replica{o: o, first: first, children: map[string]*conn{}, unhook: func() {}, proposes: make(chan struct{}, mostProposals)}
-	if r.port, err = newPort(&o); err != nil {
+	r := &Replica{options: o, initialState: first, followers: map[string]*sealedConn{}, leaveUpstream: func() {}, proposalSlots: make(chan struct{}, maxProposals)}
+	if r.transport, err = newTransport(&o); err != nil {
 		return nil, err
 	}
-	r.me = Peer{Name: o.Name, Addr: o.Advertise}
-	if r.me.Addr == "" {
-		r.me.Addr = r.port.Addr().String()
+	r.self = Peer{Name: o.Name, Addr: o.Advertise}
+	if r.self.Addr == "" {
+		r.self.Addr = r.transport.Addr().String()
 	}
-	if v, ok := o.voter(o.Name); ok {
-		r.votes, r.me.Addr = true, v.Addr
+	if v, ok := o.findVoter(o.Name); ok {
+		r.isVoter, r.self.Addr = true, v.Addr
 	}
-	r.hub = newHub(first)
-	r.state = &stateFile{r: r}
-	r.state.load()
-	if r.votes {
-		r.hub.change(func(v *View) { v.Role = "waiting" })
+	r.publisher = newPublisher(first)
+	r.stateFile = &stateFile{replica: r}
+	r.stateFile.load()
+	if r.isVoter {
+		r.publisher.updateView(func(v *View) { v.Role = "waiting" })
 	}
 	return r, nil
 }
@@ -71,60 +71,60 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { r.follow(ctx) })
-	wg.Go(func() { r.state.run(ctx) })
-	wg.Go(func() { r.watch(ctx) })
-	if r.votes {
-		wg.Go(func() { r.voter(ctx) })
+	wg.Go(func() { r.stateFile.run(ctx) })
+	wg.Go(func() { r.watchFreshness(ctx) })
+	if r.isVoter {
+		wg.Go(func() { r.runVoter(ctx) })
 	}
 	defer cancel()
-	return r.port.serve(ctx, func(kind byte, c *conn) { r.take(ctx, kind, c) })
+	return r.transport.serve(ctx, func(kind byte, c *sealedConn) { r.handleConn(ctx, kind, c) })
 }
 
 // take serves a member's connection to its end.
-func (r *Replica) take(ctx context.Context, kind byte, c *conn) {
+func (r *Replica) handleConn(ctx context.Context, kind byte, c *sealedConn) {
 	switch kind {
-	case forRaft:
-		if l := r.layer.Load(); l != nil {
-			l.give(c)
+	case purposeRaft:
+		if l := r.raftLayer.Load(); l != nil {
+			l.deliver(c)
 		}
-	case forFollow:
-		r.feed(ctx, c)
-	case forPropose, forAsk:
-		_ = c.SetDeadline(time.Now().Add(mostWait))
-		if kind == forAsk {
-			r.answerAsk(c)
+	case purposeFollow:
+		r.serveFollower(ctx, c)
+	case purposePropose, purposeVoterRequest:
+		_ = c.SetDeadline(time.Now().Add(requestTimeout))
+		if kind == purposeVoterRequest {
+			r.serveVoterRequest(c)
 		} else {
-			r.answerProposal(ctx, c)
+			r.serveProposal(ctx, c)
 		}
 	}
 }
 
 // View returns what this member knows now.
 func (r *Replica) View() View {
-	v := *r.hub.view.Load()
-	v.Fresh = r.o.Mutations.AlwaysFresh || !v.ConfirmedAt.IsZero() && time.Since(v.ConfirmedAt) < r.o.Lease
+	v := *r.publisher.view.Load()
+	v.Fresh = r.options.Mutations.AlwaysFresh || !v.ConfirmedAt.IsZero() && time.Since(v.ConfirmedAt) < r.options.Lease
 	return v
 }
 
 // Changed returns a channel that is closed when View next changes in more than the age of
 // its word, and when that is no longer fresh, or again.
 func (r *Replica) Changed() <-chan struct{} {
-	woken, _ := r.hub.waits()
+	woken, _ := r.publisher.changes()
 	return woken
 }
 
 // Leads tells whether this member decides what is proposed next.
 func (r *Replica) IsLeader() bool {
 	ra := r.raft.Load()
-	return ra != nil && ra.State() == raft.Leader && r.ready.Load() == ra.CurrentTerm()
+	return ra != nil && ra.State() == raft.Leader && r.readyTerm.Load() == ra.CurrentTerm()
 }
 
 // Addr is where others reach this member.
-func (r *Replica) Addr() string { return r.me.Addr }
+func (r *Replica) Addr() string { return r.self.Addr }
 
 // watch tells when the word grows old, and when it is fresh again.
-func (r *Replica) watch(ctx context.Context) {
-	t := time.NewTicker(r.o.pulse())
+func (r *Replica) watchFreshness(ctx context.Context) {
+	t := time.NewTicker(r.options.heartbeatInterval())
 	defer t.Stop()
 	was := false
 	for {
@@ -132,9 +132,9 @@
 			if was = v.Fresh; was {
 				slog.Info("record: heard again", "index", v.State.Index, "leader", v.Leader)
 			} else {
-				slog.Info("record: nothing heard for the lease, holding to what was committed last", "index", v.State.Index, "lease", r.o.Lease)
+				slog.Info("record: nothing heard for the lease, holding to what was committed last", "index", v.State.Index, "lease", r.options.Lease)
 			}
-			r.hub.change(func(*View) {})
+			r.publisher.updateView(func(*View) {})
 		}
 		select {
 		case <-t.C:
@@ -145,8 +145,8 @@
 }
 
 // rehook makes the member choose anew whom it follows.
-func (r *Replica) rehook() {
+func (r *Replica) reselectUpstream() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unhook()
+	r.leaveUpstream()
 }
--- a/internal/fleet/replog/snapshot.go
+++ b/internal/fleet/replog/snapshot.go
@@ -28,19 +28,19 @@
 	return s.Meta.Index
 }
 
-func parseSnapshot(b []byte) (*snapshot, error) {
+func decodeSnapshot(b []byte) (*snapshot, error) {
 	s := &snapshot{}
 	if err := json.Unmarshal(b, s); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	if _, err := unsealState(s.Data); err != nil {
+	if _, err := decodeState(s.Data); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	return s, nil
 }
 
 // sealState writes a state: the sum of its JSON, and that.
-func sealState(s *logentry.State) ([]byte, error) {
+func encodeState(s *logentry.State) ([]byte, error) {
 	text, err := json.Marshal(s)
 	if err != nil {
 		return nil, err
@@ -49,8 +49,8 @@
 	return append(sum[:], text...), nil
 }
 
-func unsealState(b []byte) (*logentry.State, error) {
-	if len(b) < sha256.Size || len(b) > mostState {
+func decodeState(b []byte) (*logentry.State, error) {
+	if len(b) < sha256.Size || len(b) > maxStateSize {
 		return nil, fmt.Errorf("state: %d bytes", len(b))
 	}
 	if sum := sha256.Sum256(b[sha256.Size:]); !bytes.Equal(sum[:], b[:sha256.Size]) {
@@ -64,70 +64,70 @@
 }
 
 // sink takes a snapshot that is being made or received.
-type sink struct {
+type snapshotSink struct {
 	bytes.Buffer
-	d    *disk
-	meta raft.SnapshotMeta
-	done bool
+	store *voterStore
+	meta  raft.SnapshotMeta
+	done  bool
 }
 
 // Create begins a snapshot.
-func (d *disk) Create(version raft.SnapshotVersion, index, term uint64, c raft.Configuration, configIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
-	return &sink{d: d, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
+func (d *voterStore) Create(version raft.SnapshotVersion, index, term uint64, c raft.Configuration, configIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
+	return &snapshotSink{store: d, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
 		Configuration: c, ConfigurationIndex: configIndex}}, nil
 }
 
 // Write takes a part.
-func (s *sink) Write(p []byte) (int, error) {
-	if s.Len()+len(p) > mostState {
-		return 0, fmt.Errorf("snapshot: over %d bytes", mostState)
+func (s *snapshotSink) Write(p []byte) (int, error) {
+	if s.Len()+len(p) > maxStateSize {
+		return 0, fmt.Errorf("snapshot: over %d bytes", maxStateSize)
 	}
 	return s.Buffer.Write(p)
 }
 
 // ID names the snapshot.
-func (s *sink) ID() string { return s.meta.ID }
+func (s *snapshotSink) ID() string { return s.meta.ID }
 
 // Cancel drops it.
-func (s *sink) Cancel() error { s.done = true; return nil }
+func (s *snapshotSink) Cancel() error { s.done = true; return nil }
 
 // Close puts it in the place of the one before.
-func (s *sink) Close() error {
+func (s *snapshotSink) Close() error {
 	if s.done {
 		return nil
 	}
 	s.done = true
 	s.meta.Size = int64(s.Len())
 	made := &snapshot{Meta: s.meta, Data: s.Bytes()}
-	if _, err := unsealState(made.Data); err != nil {
+	if _, err := decodeState(made.Data); err != nil {
 		return err
 	}
 	text, err := json.Marshal(made)
 	if err != nil {
 		return err
 	}
-	return s.d.update("snapshot", func(tx *store.Tx) error { return tx.Bucket(snapBucket).Put(snapKey, text) },
-		func() { s.d.snap = made })
+	return s.store.update("snapshot", func(tx *store.Tx) error { return tx.Bucket(snapshotBucket).Put(snapshotKey, text) },
+		func() { s.store.snapshot = made })
 }
 
 // List returns the one there is.
-func (d *disk) List() ([]*raft.SnapshotMeta, error) {
+func (d *voterStore) List() ([]*raft.SnapshotMeta, error) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if d.snap == nil {
+	if d.snapshot == nil {
 		return nil, nil
 	}
-	meta := d.snap.Meta
+	meta := d.snapshot.Meta
 	return []*raft.SnapshotMeta{&meta}, nil
 }
 
 // Open reads it.
-func (d *disk) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+func (d *voterStore) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if d.snap == nil || d.snap.Meta.ID != id {
+	if d.snapshot == nil || d.snapshot.Meta.ID != id {
 		return nil, nil, fmt.Errorf("snapshot %q: not kept", id)
 	}
-	meta := d.snap.Meta
-	return &meta, io.NopCloser(bytes.NewReader(d.snap.Data)), nil
+	meta := d.snapshot.Meta
+	return &meta, io.NopCloser(bytes.NewReader(d.snapshot.Data)), nil
 }
--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -23,29 +23,29 @@
 }}}
 
 // again is how soon after a write the next is made, and a disk that failed is tried.
-const again = time.Second
+const diskRetryInterval = time.Second
 
 // stateFile keeps the last known state on disk, so that a member that starts alone has
 // something to go by. Nothing is promised by it: it may be behind. One goroutine uses it.
 type stateFile struct {
-	r       *Replica
-	st      *store.Store
-	written uint64
-	failed  bool // said once
+	replica      *Replica
+	store        *store.Store
+	writtenIndex uint64
+	failing      bool // said once
 }
 
-func (f *stateFile) path() string { return filepath.Join(f.r.o.Dir, "state.db") }
+func (f *stateFile) path() string { return filepath.Join(f.replica.options.Dir, "state.db") }
 
 // open opens the file, if it is not open, and returns the state in it, if there is one.
 func (f *stateFile) open() (s *logentry.State, err error) {
-	if f.st != nil {
+	if f.store != nil {
 		return nil, nil
 	}
-	if err := f.r.o.InjectFault("state"); err != nil {
+	if err := f.replica.options.InjectFault("state"); err != nil {
 		return nil, err
 	}
 	for range 2 {
-		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.r.o.Mutations.SkipDiskSync})
+		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.replica.options.Mutations.SkipDiskSync})
 		if err != nil {
 			return nil, err
 		}
@@ -59,14 +59,14 @@
 		})
 		word := "torn"
 		if err == nil && len(text) > 0 {
-			if s, err = unsealState(text); err == nil {
-				if err = s.AttachGenesis(f.r.o.Genesis); err != nil {
+			if s, err = decodeState(text); err == nil {
+				if err = s.AttachGenesis(f.replica.options.Genesis); err != nil {
 					word = "foreign"
 				}
 			}
 		}
 		if err == nil {
-			f.st = st
+			f.store = st
 			return s, nil
 		}
 		_ = st.Close()
@@ -82,24 +82,24 @@
 func (f *stateFile) load() {
 	s, err := f.open()
 	if err == nil && s != nil {
-		f.written = s.Index
-		f.r.hub.put(s, nil)
+		f.writtenIndex = s.Index
+		f.replica.publisher.publishState(s, nil)
 	}
-	f.tell(err)
+	f.reportResult(err)
 }
 
 // run writes the state when it has changed, at most once in a while, and at the end.
 func (f *stateFile) run(ctx context.Context) {
-	t := time.NewTicker(again)
+	t := time.NewTicker(diskRetryInterval)
 	defer t.Stop()
 	defer func() {
 		f.write()
-		if f.st != nil {
-			_ = f.st.Close()
+		if f.store != nil {
+			_ = f.store.Close()
 		}
 	}()
 	for {
-		woken := f.r.Changed()
+		woken := f.replica.Changed()
 		f.write()
 		select {
 		case <-t.C: // the disk may have come back
@@ -117,43 +117,43 @@
 
 func (f *stateFile) write() {
 	_, err := f.open()
-	s := f.r.hub.view.Load().State
-	if err != nil || s.Index <= f.written {
-		f.tell(err)
+	s := f.replica.publisher.view.Load().State
+	if err != nil || s.Index <= f.writtenIndex {
+		f.reportResult(err)
 		return
 	}
-	text, err := sealState(s)
+	text, err := encodeState(s)
 	if err == nil {
-		if err = f.r.o.InjectFault("state"); err == nil {
-			err = f.st.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, text) })
+		if err = f.replica.options.InjectFault("state"); err == nil {
+			err = f.store.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, text) })
 		}
 	}
 	if err == nil {
-		f.written = s.Index
-	} else if f.st != nil { // bbolt is not trusted after a write that failed
-		_ = f.st.Close()
-		f.st = nil
+		f.writtenIndex = s.Index
+	} else if f.store != nil { // bbolt is not trusted after a write that failed
+		_ = f.store.Close()
+		f.store = nil
 	}
-	f.tell(err)
+	f.reportResult(err)
 }
 
 // tell says once that the disk fails, and once that it does no more.
-func (f *stateFile) tell(err error) {
+func (f *stateFile) reportResult(err error) {
 	switch {
-	case err != nil && !f.failed:
+	case err != nil && !f.failing:
 		slog.Warn("record: the state can't be written, going on in memory", "err", err)
-	case err == nil && f.failed:
+	case err == nil && f.failing:
 		slog.Info("record: the state is written again")
 	default:
 		return
 	}
-	f.failed = err != nil
-	if !f.r.votes { // a voter's word is about its votes
-		f.r.hub.change(func(v *View) { v.DiskError = text(err) })
+	f.failing = err != nil
+	if !f.replica.isVoter { // a voter's word is about its votes
+		f.replica.publisher.updateView(func(v *View) { v.DiskError = errorText(err) })
 	}
 }
 
-func text(err error) string {
+func errorText(err error) string {
 	if err == nil {
 		return ""
 	}
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -56,14 +56,14 @@
 		}
 		s := &logentry.State{}
 		if err = logentry.UnmarshalStrict(text, s); err == nil {
-			written, err = sealState(s)
+			written, err = encodeState(s)
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
 	}
 	sealed := storedFile(t, "state.sealed", written)
-	s, err := unsealState(sealed)
+	s, err := decodeState(sealed)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 		s.Contracts.Allocations[0].UnmetReason != "no room" {
 		t.Errorf("read as %+v", s)
 	}
-	if written, err := sealState(s); err != nil || !bytes.Equal(written, sealed) {
+	if written, err := encodeState(s); err != nil || !bytes.Equal(written, sealed) {
 		t.Errorf("written now: %q, %v; stored: %q", written, err, sealed)
 	}
 }
@@ -129,9 +129,9 @@
 	return all
 }
 
-func openTestDisk(t *testing.T, dir string) *disk {
+func openTestDisk(t *testing.T, dir string) *voterStore {
 	t.Helper()
-	d, why, err := openDisk(&Options{Dir: dir, InjectFault: func(string) error { return nil }}, func() {})
+	d, why, err := openVoterStore(&Options{Dir: dir, InjectFault: func(string) error { return nil }}, func() {})
 	if err != nil || why != "" {
 		t.Fatal(why, err)
 	}
@@ -159,28 +159,28 @@
 	if err == nil {
 		_, err = sink.Write(sealed)
 	}
-	if err := errors.Join(err, d.found(servers, founders), d.StoreLogs(logs), d.SetUint64([]byte("CurrentTerm"), 9),
+	if err := errors.Join(err, d.bootstrap(servers, founders), d.StoreLogs(logs), d.SetUint64([]byte("CurrentTerm"), 9),
 		d.SetUint64([]byte("LastVoteTerm"), 8), d.Set([]byte("LastVoteCand"), []byte("127.0.0.1:7002")), sink.Close(), d.close()); err != nil {
 		t.Fatal(err)
 	}
 
 	d = openTestDisk(t, storedStore(t, filepath.Join(written, "votes.db"), "fleet-votes"))
-	if d.first != 1 || d.last != 4 || !reflect.DeepEqual(raft.DecodeConfiguration(d.logs[1].Data), servers) {
-		t.Errorf("a log from %d to %d, its first %+v", d.first, d.last, d.logs[1])
+	if d.firstIndex != 1 || d.lastIndex != 4 || !reflect.DeepEqual(raft.DecodeConfiguration(d.entries[1].Data), servers) {
+		t.Errorf("a log from %d to %d, its first %+v", d.firstIndex, d.lastIndex, d.entries[1])
 	}
 	for _, want := range logs {
-		if got := d.logs[want.Index]; !reflect.DeepEqual(got, want) {
+		if got := d.entries[want.Index]; !reflect.DeepEqual(got, want) {
 			t.Errorf("entry %+v, want %+v", got, want)
 		}
 	}
 	term, _ := d.GetUint64([]byte("CurrentTerm"))
 	voteTerm, _ := d.GetUint64([]byte("LastVoteTerm"))
 	vote, _ := d.Get([]byte("LastVoteCand"))
-	if term != 9 || voteTerm != 8 || string(vote) != "127.0.0.1:7002" || !maps.Equal(d.founders, founders) {
-		t.Errorf("term %d, a vote in %d for %q, founders %v", term, voteTerm, vote, d.founders)
+	if term != 9 || voteTerm != 8 || string(vote) != "127.0.0.1:7002" || !maps.Equal(d.bootstrapStores, founders) {
+		t.Errorf("term %d, a vote in %d for %q, founders %v", term, voteTerm, vote, d.bootstrapStores)
 	}
-	if d.snap == nil || !reflect.DeepEqual(d.snap.Meta, meta) || !bytes.Equal(d.snap.Data, sealed) {
-		t.Errorf("snapshot %+v, want %+v", d.snap, meta)
+	if d.snapshot == nil || !reflect.DeepEqual(d.snapshot.Meta, meta) || !bytes.Equal(d.snapshot.Data, sealed) {
+		t.Errorf("snapshot %+v, want %+v", d.snapshot, meta)
 	}
 }
 
@@ -189,23 +189,23 @@
 	want, _ := storedState(t)
 	file := func(dir string) *stateFile {
 		r := bare(t, "m1")
-		r.o.Dir, r.o.Genesis, r.o.InjectFault = dir, want.Genesis, func(string) error { return nil }
-		f := &stateFile{r: r}
+		r.options.Dir, r.options.Genesis, r.options.InjectFault = dir, want.Genesis, func(string) error { return nil }
+		f := &stateFile{replica: r}
 		t.Cleanup(func() {
-			if f.st != nil {
-				_ = f.st.Close()
+			if f.store != nil {
+				_ = f.store.Close()
 			}
 		})
 		return f
 	}
 	written := file(t.TempDir())
-	written.r.hub.put(want, nil)
+	written.replica.publisher.publishState(want, nil)
 	written.write()
-	if err := written.st.Close(); err != nil {
+	if err := written.store.Close(); err != nil {
 		t.Fatal(err)
 	}
 	stored := file(storedStore(t, written.path(), "fleet-state"))
-	if s, err := stored.open(); err != nil || stored.st.Aside != "" || !reflect.DeepEqual(s, want) {
+	if s, err := stored.open(); err != nil || stored.store.Aside != "" || !reflect.DeepEqual(s, want) {
 		t.Errorf("read as %+v, %v; want %+v", s, err, want)
 	}
 }
@@ -226,19 +226,19 @@
 		value any
 	}{
 		{msgHello, &hello{Name: "m1", Addr: "127.0.0.1:7001", Index: 258, Hash: storedHash()}},
-		{msgNo, &no{Why: forked, Others: []Peer{{Name: "m2", Addr: "127.0.0.1:7002", Index: 259}}}},
-		{msgBeat, &beat{Number: 260, Age: -261, Leader: "v0", Path: []string{"v0", "m2"}}},
-		{msgAnswer, &answer{Outcome: logentry.Outcome{Index: 262, Accepted: true, Reason: "reason"}, Fault: "fault", Unknown: true, Leader: "v1"}},
-		{msgAsk, &ask{Want: wantWho, Name: "v0", Applied: 263}},
-		{msgAsk, &ask{Want: wantBack, Name: "v1", Applied: 264}},
-		{msgAsk, &ask{Want: wantVote, Name: "v2", Applied: 265}},
-		{msgMine, &mine{ID: "0011223344556677", Founded: true, Founders: map[string]string{"v0": "8899aabbccddeeff"}, Index: 266, Fault: "fault"}},
+		{msgRejection, &rejection{Reason: reasonForked, Alternatives: []Peer{{Name: "m2", Addr: "127.0.0.1:7002", Index: 259}}}},
+		{msgHeartbeat, &heartbeat{Sequence: 260, AgeMicros: -261, Leader: "v0", Path: []string{"v0", "m2"}}},
+		{msgProposalResult, &proposalResult{Outcome: logentry.Outcome{Index: 262, Accepted: true, Reason: "reason"}, Error: "fault", OutcomeUnknown: true, Leader: "v1"}},
+		{msgVoterRequest, &voterRequest{Action: actionDescribe, Name: "v0", AppliedIndex: 263}},
+		{msgVoterRequest, &voterRequest{Action: actionReadmit, Name: "v1", AppliedIndex: 264}},
+		{msgVoterRequest, &voterRequest{Action: actionPromote, Name: "v2", AppliedIndex: 265}},
+		{msgVoterInfo, &voterInfo{StoreID: "0011223344556677", Bootstrapped: true, BootstrapStores: map[string]string{"v0": "8899aabbccddeeff"}, Index: 266, Error: "fault"}},
 	}
 	var written bytes.Buffer
 	line := func(frame []byte) { written.WriteString(strconv.Quote(string(frame)) + "\n") }
 	for _, m := range messages {
 		var frame bytes.Buffer
-		if err := sayJSON(&frame, m.kind, m.value); err != nil {
+		if err := writeJSON(&frame, m.kind, m.value); err != nil {
 			t.Fatal(err)
 		}
 		line(frame.Bytes())
@@ -248,13 +248,13 @@
 			}
 		}
 	}
-	line(plaintextOf(t, func(c *conn) error { return say(c, msgPropose, text) }))
-	line(plaintextOf(t, func(c *conn) error { return say(c, msgNumber, binary.BigEndian.AppendUint64(nil, 2)) }))
+	line(plaintextOf(t, func(c *sealedConn) error { return writeMessage(c, msgProposal, text) }))
+	line(plaintextOf(t, func(c *sealedConn) error { return writeMessage(c, msgSequence, binary.BigEndian.AppendUint64(nil, 2)) }))
 	up := bare(t, "up")
 	next, _ := up.View().State.Apply(text)
-	up.hub.put(next, text)
-	line(plaintextOf(t, func(c *conn) error { _, err := up.pass(c, 0); return err }))
-	line([]byte{forRaft, forFollow, forPropose, forAsk})
+	up.publisher.publishState(next, text)
+	line(plaintextOf(t, func(c *sealedConn) error { _, err := up.sendEntriesAfter(c, 0); return err }))
+	line([]byte{purposeRaft, purposeFollow, purposePropose, purposeVoterRequest})
 
 	stored := storedFile(t, "messages.txt", written.Bytes())
 	if !bytes.Equal(stored, written.Bytes()) {
@@ -263,21 +263,21 @@
 	heard := storedFrames(t, stored)
 	for i, m := range messages {
 		read := reflect.New(reflect.TypeOf(m.value).Elem()).Interface()
-		if err := hearJSON(heard[i], m.kind, read); err != nil || !reflect.DeepEqual(read, m.value) {
+		if err := readJSON(heard[i], m.kind, read); err != nil || !reflect.DeepEqual(read, m.value) {
 			t.Errorf("read as %+v, %v; want %+v", read, err, m.value)
 		}
 	}
 	heard = heard[len(messages):]
-	if kind, got, err := hear(heard[0], mostEntry); err != nil || kind != msgPropose || !bytes.Equal(got, text) {
+	if kind, got, err := readMessage(heard[0], maxEntryMessageSize); err != nil || kind != msgProposal || !bytes.Equal(got, text) {
 		t.Errorf("a proposal is read as %q %q, %v", kind, got, err)
 	}
-	if err := (&readNumbers{last: 1, told: true}).read(heard[1]); err != nil {
+	if err := (&upstreamClock{lastSequence: 1, acknowledged: true}).readSequence(heard[1]); err != nil {
 		t.Errorf("a number: %v", err)
 	}
 	down := bare(t, "down")
-	kind, got, err := hear(heard[2], mostEntry)
+	kind, got, err := readMessage(heard[2], maxEntryMessageSize)
 	if err == nil {
-		err = down.takeEntry(got)
+		err = down.applyEntry(got)
 	}
 	if s := down.View().State; err != nil || kind != msgEntry || s.Index != 1 || s.Hash != next.Hash {
 		t.Errorf("an entry is read as %q, %v; the state is at %d", kind, err, s.Index)
@@ -288,15 +288,15 @@
 func TestStoredStateMessage(t *testing.T) {
 	s, sealed := storedState(t)
 	up, down := bare(t, "up"), bare(t, "down")
-	down.o.Genesis = s.Genesis
-	up.hub.put(s, nil)
-	frame := plaintextOf(t, func(c *conn) error { _, err := up.pass(c, 0); return err })
+	down.options.Genesis = s.Genesis
+	up.publisher.publishState(s, nil)
+	frame := plaintextOf(t, func(c *sealedConn) error { _, err := up.sendEntriesAfter(c, 0); return err })
 	if want := append(binary.BigEndian.AppendUint32([]byte("s"), uint32(len(sealed))), sealed...); !bytes.Equal(frame, want) {
 		t.Errorf("written now: %q, want %q", frame, want)
 	}
-	_, text, err := hear(bytes.NewReader(frame), mostState)
+	_, text, err := readMessage(bytes.NewReader(frame), maxStateSize)
 	if err == nil {
-		err = down.takeState(text)
+		err = down.applyState(text)
 	}
 	if got := down.View().State; err != nil || !reflect.DeepEqual(got, s) {
 		t.Errorf("read as %+v, %v; want %+v", got, err, s)
@@ -304,7 +304,7 @@
 }
 
 // plaintextOf returns what speak writes to a connection, as its other end reads it.
-func plaintextOf(t *testing.T, speak func(*conn) error) []byte {
+func plaintextOf(t *testing.T, speak func(*sealedConn) error) []byte {
 	t.Helper()
 	caller, called := pair(t, "0123456789abcdef", "0123456789abcdef", same)
 	defer func() { _ = called.Close() }()
