--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -37,20 +37,20 @@
 
 	// Of the Core's goroutine.
 	inForce *route.Table
-	ledger  *route.Ledger
+	ledger  *route.Limiter
 	ahead   time.Duration // of the agent's clock over the module's
 	refused bool          // and not logged yet
 	said    time.Time     // when refusals were last logged
-	logged  map[route.Refusal]uint64
+	logged  map[route.Rejection]uint64
 }
 
 // newRoutes returns routes without a table: all goes anywhere.
 func newRoutes(core *dispatch.EventLoop, cfg account.LeaseConfig) (*routes, error) {
-	ledger, err := route.NewLedger(cfg)
+	ledger, err := route.NewLimiter(cfg)
 	if err != nil {
 		return nil, err
 	}
-	return &routes{core: core, half: cfg.Epoch / 2, ledger: ledger, logged: map[route.Refusal]uint64{}}, nil
+	return &routes{core: core, half: cfg.Epoch / 2, ledger: ledger, logged: map[route.Rejection]uint64{}}, nil
 }
 
 func (r *routes) now() time.Duration { return r.core.Now() + r.ahead }
@@ -59,7 +59,7 @@
 	if r.inForce == nil {
 		return nil
 	}
-	query := route.Query{Class: q.Class, Tenant: q.Tenant, Group: q.Group, Returned: q.Returned, Retry: q.Retry}
+	query := route.Query{Class: q.Class, Tenant: q.Tenant, Group: q.Group, Returning: q.Returned, Retry: q.Retry}
 	if q.Group != "" {
 		query.GroupHash = route.Hash(q.Group)
 	}
@@ -85,17 +85,17 @@
 	if found == nil {
 		return nil, nil
 	}
-	r.ledger.Opened(found)
+	r.ledger.ConnectionOpened(found)
 	return found, found.Bound
 }
 
 // Spent implements decide.Router.
 func (r *routes) AddUsage(on *route.Route, again, probes int) {
-	r.ledger.Spent(r.now(), on, again, again, probes)
+	r.ledger.RecordAttempts(r.now(), on, again, again, probes)
 }
 
 // Closed implements decide.Router.
-func (r *routes) Release(on *route.Route) { r.ledger.Closed(on) }
+func (r *routes) Release(on *route.Route) { r.ledger.ConnectionClosed(on) }
 
 // say adds to what the agent is told: once in a half epoch what was used.
 func (r *routes) say(s *agentapi.Said) {
@@ -106,7 +106,7 @@
 	r.core.RunOnLoop(func(now time.Duration) {
 		if half := int64((now + r.ahead) / r.half); half != r.word && s.Deal+s.Table > 0 {
 			r.word = half
-			u := r.ledger.Use(now + r.ahead)
+			u := r.ledger.Usage(now + r.ahead)
 			s.Uses = &u
 		}
 		r.logRefusals()
@@ -146,17 +146,17 @@
 	}
 	r.core.RunOnLoop(func(now time.Duration) {
 		r.ahead = time.Duration(rights.HalfEpoch+1)*r.half - rights.ExpiresAt
-		r.ledger.Deal(rights, now+r.ahead)
+		r.ledger.SetLease(rights, now+r.ahead)
 	})
 }
 
-func (r *routes) compile(w route.Wire) {
+func (r *routes) compile(w route.Update) {
 	var next *route.Table
 	var err error
-	if r.table == nil || w.Whole {
+	if r.table == nil || w.Complete {
 		next, err = route.Compile(w)
 	} else {
-		next, err = r.table.With(w)
+		next, err = r.table.Apply(w)
 	}
 	if r.table = next; err != nil {
 		r.table = nil
@@ -164,8 +164,8 @@
 		return
 	}
 	r.core.RunOnLoop(func(time.Duration) { r.inForce = next })
-	if w.Whole || len(w.Set)+len(w.Gone)+len(w.Steer) > 0 {
-		slog.Info("routes changed", "set", len(w.Set), "gone", len(w.Gone), "steered", len(w.Steer), "whole", w.Whole)
+	if w.Complete || len(w.Set)+len(w.Removed)+len(w.Allocations) > 0 {
+		slog.Info("routes changed", "set", len(w.Set), "gone", len(w.Removed), "steered", len(w.Allocations), "whole", w.Complete)
 	}
 }
 
@@ -179,7 +179,7 @@
 		return
 	}
 	r.refused = false
-	all := r.ledger.Refused()
+	all := r.ledger.Rejections()
 	fresh := maps.Clone(all)
 	for why, n := range r.logged {
 		if fresh[why] -= n; fresh[why] == 0 {
@@ -187,12 +187,12 @@
 		}
 	}
 	r.said, r.logged = now, all
-	order := slices.SortedFunc(maps.Keys(fresh), func(a, b route.Refusal) int {
-		return cmp.Or(cmp.Compare(fresh[b], fresh[a]), cmp.Compare(a.Level, b.Level), cmp.Compare(a.Figure, b.Figure))
+	order := slices.SortedFunc(maps.Keys(fresh), func(a, b route.Rejection) int {
+		return cmp.Or(cmp.Compare(fresh[b], fresh[a]), cmp.Compare(a.Level, b.Level), cmp.Compare(a.Resource, b.Resource))
 	})
 	for _, why := range order[:min(mostRefusals, len(order))] {
 		slog.Warn("transactions refused: no room on their route", "account", why.Account, "level", why.Level,
-			"limit", why.Figure, "count", fresh[why], "since_start", all[why])
+			"limit", why.Resource, "count", fresh[why], "since_start", all[why])
 	}
 	if more := len(order) - mostRefusals; more > 0 {
 		slog.Warn("transactions refused: no room on their route", "further_kinds", more)
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -13,7 +13,7 @@
 // routed notes what it is told, on the Core's goroutine.
 type routed struct{ notes []string }
 
-var onRoute = &route.Route{Name: "acme:r"}
+var onRoute = &route.Route{Path: "acme:r"}
 
 func (r *routed) Admit(q *Request) (*route.Route, *balance.ZoneConstraint) {
 	if q.Tenant != "acme" {
@@ -31,7 +31,7 @@
 func (r *routed) AddUsage(_ *route.Route, again, probes int) {
 	r.notes = append(r.notes, fmt.Sprintf("%d again, %d probes", again, probes))
 }
-func (r *routed) Release(on *route.Route) { r.notes = append(r.notes, "closed "+on.Name) }
+func (r *routed) Release(on *route.Route) { r.notes = append(r.notes, "closed "+on.Path) }
 
 // A route hears once of each that it has and of its end, of each attempt beyond a first, and
 // of the probe that an arrival brings; of others it hears nothing.
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -92,7 +92,7 @@
 			}
 			if wire, ok := gathered.Table(&told); ok {
 				raw, _ := json.Marshal(wire.Set)
-				w.write("agent", "to its node: whole %v, routes %s, gone %v", wire.Whole, raw, wire.Gone)
+				w.write("agent", "to its node: whole %v, routes %s, gone %v", wire.Complete, raw, wire.Removed)
 				said.Table = wire.Index
 			}
 			if r, ok := gathered.Rights(&told); ok {
--- a/internal/fleet/agent/routes.go
+++ b/internal/fleet/agent/routes.go
@@ -22,14 +22,14 @@
 // made, so that it is new after each change and after each start of the agent.
 type tables struct {
 	mu    sync.Mutex
-	kept  []route.Wire // the last few, whole, the latest last
-	of    [3]uint64    // versions that the latest is of: accounts, contracts, allocations
+	kept  []route.Update // the last few, whole, the latest last
+	of    [3]uint64      // versions that the latest is of: accounts, contracts, allocations
 	made  time.Duration
 	ready map[string]int // next hops by zone, as the node says
 	has   bool           // the node has a table
 	news  struct {       // as it was cut last
 		since, index uint64
-		parts        []route.Wire
+		parts        []route.Update
 	}
 }
 
@@ -53,19 +53,19 @@
 		return
 	}
 	t.mu.Lock()
-	ready, last := t.ready, route.Wire{}
+	ready, last := t.ready, route.Update{}
 	if len(t.kept) > 0 {
 		last = t.kept[len(t.kept)-1]
 	}
 	of := [3]uint64{s.Accounts.Version, s.Contracts.Version, s.Contracts.AllocationVersion}
 	same := of == t.of && last.Index != 0
 	if none := len(s.Accounts.Routes) == 0 && len(last.Set) == 0 && (last.Index != 0 || !t.has); none ||
-		same && (maps.Equal(ready, last.Ready) || now < t.made+recount) {
+		same && (maps.Equal(ready, last.ReadyEndpoints) || now < t.made+recount) {
 		t.mu.Unlock()
 		return
 	}
 	t.mu.Unlock()
-	w := snapshot.Whole(max(uint64(now), last.Index+1), s.Accounts, s.Contracts, s.Genesis.Zones.Regions, ready)
+	w := snapshot.Build(max(uint64(now), last.Index+1), s.Accounts, s.Contracts, s.Genesis.Zones.Regions, ready)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.kept) == mostTables {
@@ -83,7 +83,7 @@
 		return
 	}
 	latest := t.kept[len(t.kept)-1]
-	var before *route.Wire
+	var before *route.Update
 	for i := range t.kept {
 		if t.kept[i].Index == s.Table {
 			before = &t.kept[i]
--- a/internal/fleet/agentapi/parts.go
+++ b/internal/fleet/agentapi/parts.go
@@ -15,11 +15,11 @@
 
 // TableParts cuts news of a table into parts, at least one. All have its head, and together
 // they are it.
-func TableParts(w route.Wire, most int) []route.Wire {
-	head := route.Wire{Index: w.Index, Whole: w.Whole, Since: w.Since}
-	parts, size := []route.Wire{head}, 0
-	parts[0].Ready = w.Ready
-	at := func(item any) *route.Wire {
+func TableParts(w route.Update, most int) []route.Update {
+	head := route.Update{Index: w.Index, Complete: w.Complete, BaseIndex: w.BaseIndex}
+	parts, size := []route.Update{head}, 0
+	parts[0].ReadyEndpoints = w.ReadyEndpoints
+	at := func(item any) *route.Update {
 		n := sizeOf(item)
 		if size > 0 && size+n > most {
 			parts, size = append(parts, head), 0
@@ -31,20 +31,20 @@
 		p := at(e)
 		p.Set = append(p.Set, e)
 	}
-	for _, path := range w.Gone {
+	for _, path := range w.Removed {
 		p := at(path)
-		p.Gone = append(p.Gone, path)
+		p.Removed = append(p.Removed, path)
 	}
-	for _, a := range w.Steer {
+	for _, a := range w.Allocations {
 		p := at(a)
-		p.Steer = append(p.Steer, a)
+		p.Allocations = append(p.Allocations, a)
 	}
 	return parts
 }
 
 // join puts a further part to what came before it.
-func join(w, part route.Wire) route.Wire {
-	w.Set, w.Gone, w.Steer = append(w.Set, part.Set...), append(w.Gone, part.Gone...), append(w.Steer, part.Steer...)
+func join(w, part route.Update) route.Update {
+	w.Set, w.Removed, w.Allocations = append(w.Set, part.Set...), append(w.Removed, part.Removed...), append(w.Allocations, part.Allocations...)
 	return w
 }
 
@@ -91,7 +91,7 @@
 // has nothing.
 type Gathering struct {
 	index  uint64 // of the table that is gathered
-	table  route.Wire
+	table  route.Update
 	parts  int
 	deal   uint64
 	rights account.QuotaLease
@@ -107,20 +107,20 @@
 }
 
 // Table takes an answer's part of a table, and returns the news of it once it is whole.
-func (g *Gathering) Table(t *Told) (route.Wire, bool) {
+func (g *Gathering) Table(t *Told) (route.Update, bool) {
 	switch {
 	case t.Table == nil:
-		return route.Wire{}, false
+		return route.Update{}, false
 	case g.parts > 0 && t.Table.Index == g.index:
 		g.table = join(g.table, *t.Table)
 	default:
 		g.index, g.table, g.parts = t.Table.Index, *t.Table, 0
 	}
 	if g.parts++; g.parts < t.Parts {
-		return route.Wire{}, false
+		return route.Update{}, false
 	}
 	w := g.table
-	g.index, g.table, g.parts = 0, route.Wire{}, 0
+	g.index, g.table, g.parts = 0, route.Update{}, 0
 	return w, true
 }
 
--- a/internal/fleet/agentapi/parts_test.go
+++ b/internal/fleet/agentapi/parts_test.go
@@ -14,16 +14,16 @@
 	"coralrelay/internal/route"
 )
 
-func table(routes, gone, steered int) route.Wire {
-	w := route.Wire{Index: 9, Since: 4, Ready: map[string]int{"a": 3}}
+func table(routes, gone, steered int) route.Update {
+	w := route.Update{Index: 9, BaseIndex: 4, ReadyEndpoints: map[string]int{"a": 3}}
 	for i := range routes {
-		w.Set = append(w.Set, route.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, Zones: []string{"eu-a", "eu-b"}})
+		w.Set = append(w.Set, route.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, AllowedZones: []string{"eu-a", "eu-b"}})
 	}
 	for i := range gone {
-		w.Gone = append(w.Gone, fmt.Sprint("account/team:gone-", i))
+		w.Removed = append(w.Removed, fmt.Sprint("account/team:gone-", i))
 	}
 	for i := range steered {
-		w.Steer = append(w.Steer, route.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
+		w.Allocations = append(w.Allocations, route.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
 	}
 	return w
 }
@@ -50,7 +50,7 @@
 		g := Gathering{}
 		before := dealt(2, true)
 		g.Rights(&Told{Rights: &before, Deal: 1, Pieces: 1})
-		left := Told{Table: &route.Wire{Index: 8, Gone: []string{"of another"}}, Parts: 2, Rights: &account.QuotaLease{HalfEpoch: 6, Allocated: before.Allocated}, Deal: 2, Pieces: 2}
+		left := Told{Table: &route.Update{Index: 8, Removed: []string{"of another"}}, Parts: 2, Rights: &account.QuotaLease{HalfEpoch: 6, Allocated: before.Allocated}, Deal: 2, Pieces: 2}
 		g.Table(&left)
 		g.Rights(&left)
 		for i := range tables {
--- a/internal/fleet/agentapi/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -45,7 +45,7 @@
 	}
 	Told struct {
 		balance.QuotaLease
-		Table    *route.Wire         `json:"table,omitempty"`    // nil for no news
+		Table    *route.Update       `json:"table,omitempty"`    // nil for no news
 		Parts    int                 `json:"parts,omitempty"`    // of the table's news, all told
 		Rights   *account.QuotaLease `json:"rights,omitempty"`   // nil for no news
 		Deal     uint64              `json:"deal,omitempty"`     // their number
--- a/internal/route/ledger.go
+++ b/internal/route/ledger.go
@@ -29,7 +29,7 @@
 // and one; attempts beyond a first and probes, which the module makes, are counted when
 // they are made, and come on top. How many may stand is what was last dealt
 // until that is older than the hold, then the even part: what stands is never called back.
-type Ledger struct {
+type Limiter struct {
 	cfg    account.LeaseConfig
 	half   int64
 	rights account.QuotaLease
@@ -37,7 +37,7 @@
 	has    bool
 	counts map[string]*count
 	over   map[string]float64 // parts of a transaction that contracts are still to refuse
-	said   map[Refusal]uint64
+	said   map[Rejection]uint64
 }
 
 // count is what is used of one path.
@@ -51,22 +51,22 @@
 
 // Refusal is what transactions were refused for: the level that was full, which is a
 // contract where its regions have no room.
-type Refusal struct{ Account, Level, Figure string }
+type Rejection struct{ Account, Level, Resource string }
 
 // mostSaid bounds the kinds of refusals that are counted apart.
 const mostSaid = 4096
 
 // NewLedger returns a Ledger of what all members are given alike.
-func NewLedger(cfg account.LeaseConfig) (*Ledger, error) {
+func NewLimiter(cfg account.LeaseConfig) (*Limiter, error) {
 	if key := cfg.InvalidField(); key != "" {
 		return nil, fmt.Errorf("ledger: %s can't be worked with", key)
 	}
-	return &Ledger{cfg: cfg, counts: map[string]*count{}, over: map[string]float64{}, said: map[Refusal]uint64{}}, nil
+	return &Limiter{cfg: cfg, counts: map[string]*count{}, over: map[string]float64{}, said: map[Rejection]uint64{}}, nil
 }
 
 // Deal takes rights as they come. Those of an older half than the last are late, and passed
 // over. Times are Unix time.
-func (l *Ledger) Deal(r account.QuotaLease, now time.Duration) {
+func (l *Limiter) SetLease(r account.QuotaLease, now time.Duration) {
 	l.turn(now)
 	if l.has && r.HalfEpoch < l.rights.HalfEpoch {
 		return
@@ -77,7 +77,7 @@
 // Admit takes a transaction that comes now onto all levels of its route, or tells which is
 // full, the highest of them. A retry counts as one besides, whoever makes it. It stands from
 // then on until Closed, so that many at once do not pass a limit together.
-func (l *Ledger) Admit(now time.Duration, r *Route, retry bool) (ok bool, over string) {
+func (l *Limiter) Admit(now time.Duration, r *Route, retry bool) (ok bool, over string) {
 	l.turn(now)
 	need := [figures]float64{open: 1, rate: 1, probes: 1}
 	if retry {
@@ -93,30 +93,30 @@
 				}
 			}
 			if most := l.right(now, path, i); n > 0 && most >= 0 && has+n > most {
-				l.refuse(r, Refusal{r.Account, path, figureNames[i]}, need)
+				l.refuse(r, Rejection{r.Account, path, figureNames[i]}, need)
 				return false, path
 			}
 		}
 	}
-	if r.Over > 0 {
+	if r.RejectedShare > 0 {
 		if len(l.over) > mostSaid {
 			clear(l.over) // of contracts that are long gone, most of them
 		}
-		if l.over[r.Contract] += r.Over; l.over[r.Contract] >= 1 {
+		if l.over[r.Contract] += r.RejectedShare; l.over[r.Contract] >= 1 {
 			l.over[r.Contract]--
-			l.refuse(r, Refusal{r.Account, r.Contract, "contract"}, need)
+			l.refuse(r, Rejection{r.Account, r.Contract, "contract"}, need)
 			return false, r.Contract
 		}
 	}
 	need[probes] = 0 // it needs room for one, and counts those that it makes
-	l.Spent(now, r, 1, int(need[retries]), 0)
-	l.Opened(r)
+	l.RecordAttempts(now, r, 1, int(need[retries]), 0)
+	l.ConnectionOpened(r)
 	return true, ""
 }
 
 // Spent counts set-ups, retries and probes that were made on a route without being asked
 // for: attempts beyond a first, which the module decides on, and what it has probed.
-func (l *Ledger) Spent(now time.Duration, r *Route, setups, again, probed int) {
+func (l *Limiter) RecordAttempts(now time.Duration, r *Route, setups, again, probed int) {
 	l.turn(now)
 	for _, path := range r.Levels {
 		c := l.count(path)
@@ -127,7 +127,7 @@
 }
 
 // Opened counts what stands without having been admitted: it was taken over.
-func (l *Ledger) Opened(r *Route) {
+func (l *Limiter) ConnectionOpened(r *Route) {
 	for _, path := range r.Levels {
 		l.count(path).standing++
 	}
@@ -135,7 +135,7 @@
 
 // Closed is told once for each that was admitted or opened, with the route of then: its
 // attempts have failed, or it has ended.
-func (l *Ledger) Closed(r *Route) {
+func (l *Limiter) ConnectionClosed(r *Route) {
 	for _, path := range r.Levels {
 		if c := l.counts[path]; c != nil && c.standing > 0 {
 			c.standing--
@@ -143,7 +143,7 @@
 	}
 }
 
-func (l *Ledger) count(path string) *count {
+func (l *Limiter) count(path string) *count {
 	c := l.counts[path]
 	if c == nil {
 		c = &count{}
@@ -153,7 +153,7 @@
 }
 
 // turn begins a half epoch. Paths that nothing is known of any more are forgotten.
-func (l *Ledger) turn(now time.Duration) {
+func (l *Limiter) turn(now time.Duration) {
 	half := int64(now / (l.cfg.Epoch / 2))
 	if half <= l.half {
 		return
@@ -177,7 +177,7 @@
 }
 
 // refuse counts a refusal, and what was wanted on all levels.
-func (l *Ledger) refuse(r *Route, why Refusal, need [figures]float64) {
+func (l *Limiter) refuse(r *Route, why Rejection, need [figures]float64) {
 	for _, path := range r.Levels {
 		c := l.count(path)
 		for i, n := range need {
@@ -185,18 +185,18 @@
 		}
 	}
 	if _, ok := l.said[why]; !ok && len(l.said) >= mostSaid {
-		why = Refusal{Figure: why.Figure}
+		why = Rejection{Resource: why.Resource}
 	}
 	l.said[why]++
 }
 
 // Refused tells how many transactions were refused for what since the start. What is beyond
 // 4096 kinds is counted without account and level.
-func (l *Ledger) Refused() map[Refusal]uint64 { return maps.Clone(l.said) }
+func (l *Limiter) Rejections() map[Rejection]uint64 { return maps.Clone(l.said) }
 
 // Use is this node's word for its agent, which adds who and when. Paths that have nothing to
 // tell are left out.
-func (l *Ledger) Use(now time.Duration) account.Usage {
+func (l *Limiter) Usage(now time.Duration) account.Usage {
 	l.turn(now)
 	u := account.Usage{HalfEpoch: l.half, Used: map[string]account.Amounts{}, UsedBefore: map[string]account.Amounts{}, Demand: map[string]account.Amounts{}}
 	for path, c := range l.counts {
--- a/internal/route/ledger_test.go
+++ b/internal/route/ledger_test.go
@@ -10,11 +10,11 @@
 	"coralrelay/internal/fleet/account"
 )
 
-var web = &Route{Name: "acme/web:r", Account: "acme", Levels: []string{"acme", "acme/web", "acme/web:r"}}
+var web = &Route{Path: "acme/web:r", Account: "acme", Levels: []string{"acme", "acme/web", "acme/web:r"}}
 
 // ledger returns one with an epoch of a second, in its half 100, and the time.
-func ledger(t interface{ Fatal(...any) }) (*Ledger, time.Duration) {
-	l, err := NewLedger(account.LeaseConfig{Epoch: time.Second, HolderTimeout: 3 * time.Second})
+func ledger(t interface{ Fatal(...any) }) (*Limiter, time.Duration) {
+	l, err := NewLimiter(account.LeaseConfig{Epoch: time.Second, HolderTimeout: 3 * time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 }
 
 // admit asks for n transactions and tells how many were taken, and which level was full.
-func admit(l *Ledger, now time.Duration, retry bool, n int) (taken int, full string) {
+func admit(l *Limiter, now time.Duration, retry bool, n int) (taken int, full string) {
 	for range n {
 		ok, over := l.Admit(now, web, retry)
 		if ok {
@@ -62,16 +62,16 @@
 		{"the highest is named", map[string]account.Amounts{"acme": {Connections: -1, Probes: -1}, "acme/web": {}}, false, 0, "acme", "rate"},
 	} {
 		l, now := ledger(t)
-		l.Deal(rights(100, tt.paths), now)
+		l.SetLease(rights(100, tt.paths), now)
 		taken, full := admit(l, now, tt.retry, 20)
 		if taken != tt.taken || full != tt.full {
 			t.Errorf("%s: %d taken, then %q is full; want %d and %q", tt.name, taken, full, tt.taken, tt.full)
 		}
-		want := map[Refusal]uint64{}
+		want := map[Rejection]uint64{}
 		if full != "" {
-			want[Refusal{"acme", tt.full, tt.figure}] = uint64(20 - tt.taken)
+			want[Rejection{"acme", tt.full, tt.figure}] = uint64(20 - tt.taken)
 		}
-		if got := l.Refused(); fmt.Sprint(got) != fmt.Sprint(want) {
+		if got := l.Rejections(); fmt.Sprint(got) != fmt.Sprint(want) {
 			t.Errorf("%s: %v refused, want %v", tt.name, got, want)
 		}
 	}
@@ -85,7 +85,7 @@
 		t.Errorf("%d of 5 taken before anything was dealt", taken)
 	}
 	for range 5 {
-		l.Closed(web)
+		l.ConnectionClosed(web)
 	}
 	one := func(open, rate float64) map[string]account.Amounts {
 		return map[string]account.Amounts{"acme": {Connections: open, Setups: rate, Retries: -1, Probes: -1}}
@@ -96,15 +96,15 @@
 			t.Errorf("%s: %d of %d taken, want %d", what, taken, ask, want)
 		}
 	}
-	l.Deal(rights(100, one(9, 7)), now)
+	l.SetLease(rights(100, one(9, 7)), now)
 	step("five are used of seven", 9, 2)
-	l.Deal(rights(99, one(9, 99)), now)
+	l.SetLease(rights(99, one(9, 99)), now)
 	step("an older half's rights", 9, 0)
 	now += 500 * time.Millisecond
 	step("a half without its rights: four a second", 9, 2)
-	l.Deal(rights(101, one(9, 3)), now)
+	l.SetLease(rights(101, one(9, 3)), now)
 	step("what was used counts", 9, 1)
-	if u := l.Use(now); u.HalfEpoch != 101 || u.Used["acme"] != (account.Amounts{Connections: 5, Setups: 3}) || u.UsedBefore["acme"].Setups != 7 || u.Demand["acme"].Setups != 7+7+9 {
+	if u := l.Usage(now); u.HalfEpoch != 101 || u.Used["acme"] != (account.Amounts{Connections: 5, Setups: 3}) || u.UsedBefore["acme"].Setups != 7 || u.Demand["acme"].Setups != 7+7+9 {
 		t.Errorf("told: %+v", u)
 	}
 	now += 2 * time.Second
@@ -112,14 +112,14 @@
 	now += time.Second
 	step("the even part: one may stand", 9, 0)
 	for range 7 {
-		l.Closed(web)
+		l.ConnectionClosed(web)
 	}
 	step("and nothing does", 9, 1)
-	l.Closed(web)
-	l.Closed(web) // once too often takes nothing from anyone
-	l.Spent(now, web, 0, 0, 2)
+	l.ConnectionClosed(web)
+	l.ConnectionClosed(web) // once too often takes nothing from anyone
+	l.RecordAttempts(now, web, 0, 0, 2)
 	now += time.Second
-	if u := l.Use(now); len(u.Used)+len(u.UsedBefore)+len(u.Demand) != 0 || len(l.counts) != 0 {
+	if u := l.Usage(now); len(u.Used)+len(u.UsedBefore)+len(u.Demand) != 0 || len(l.counts) != 0 {
 		t.Errorf("told when nothing stands: %+v, %d paths kept", u, len(l.counts))
 	}
 }
@@ -155,7 +155,7 @@
 func TestOverOfAContract(t *testing.T) {
 	l, now := ledger(t)
 	r := *web
-	r.Contract, r.Over = "gold", 0.25
+	r.Contract, r.RejectedShare = "gold", 0.25
 	for i := range 20 {
 		if ok, over := l.Admit(now, &r, false); ok == (i%4 == 3) || !ok && over != "gold" {
 			t.Errorf("transaction %d: %v, over %q", i, ok, over)
--- a/internal/route/resolve.go
+++ b/internal/route/resolve.go
@@ -20,19 +20,19 @@
 // Parts and shares are of transactions, and the module keeps parts of draws: a zone with
 // twice the next hops is drawn twice as often, so that it keeps half for the same part.
 func resolve(e *Entry, steered *Allocation, ready map[string]int) *balance.ZoneConstraint {
-	if len(e.Parts) == 0 && len(e.Zones) == 0 && steered == nil {
+	if len(e.ZoneShares) == 0 && len(e.AllowedZones) == 0 && steered == nil {
 		return nil
 	}
 	bound := &balance.ZoneConstraint{Name: e.Path()}
-	open := func(zone string) bool { return len(e.Zones) == 0 || slices.Contains(e.Zones, zone) }
-	if len(e.Parts) == 0 && steered == nil {
-		for _, zone := range e.Zones {
+	open := func(zone string) bool { return len(e.AllowedZones) == 0 || slices.Contains(e.AllowedZones, zone) }
+	if len(e.ZoneShares) == 0 && steered == nil {
+		for _, zone := range e.AllowedZones {
 			bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: 1})
 		}
 		return bound
 	}
 	weights := map[string]float64{}
-	for _, p := range e.Parts {
+	for _, p := range e.ZoneShares {
 		if open(p.Zone) && p.Percent > 0 {
 			weights[p.Zone] = p.Percent
 		}
@@ -41,15 +41,15 @@
 		both := map[string]float64{}
 		for zone, share := range steered.Shares {
 			weight := 1.0
-			if len(e.Parts) > 0 {
+			if len(e.ZoneShares) > 0 {
 				weight = weights[zone]
 			}
 			if open(zone) && share*weight > 0 {
 				both[zone] = share * weight
 			}
 		}
-		if len(both) == 0 && len(e.Parts) == 0 { // what the owner may use is all there is
-			return resolve(&Entry{Name: e.Name, Owner: e.Owner, Zones: e.Zones}, nil, ready)
+		if len(both) == 0 && len(e.ZoneShares) == 0 { // what the owner may use is all there is
+			return resolve(&Entry{Name: e.Name, Owner: e.Owner, AllowedZones: e.AllowedZones}, nil, ready)
 		}
 		if len(both) > 0 {
 			weights = both
--- a/internal/route/resolve_test.go
+++ b/internal/route/resolve_test.go
@@ -39,7 +39,7 @@
 		{"contract before locality", nil, nil, steer(map[string]float64{"far": 1}), map[string]int{"near": 9, "far": 1}, "[{far 1}]"},
 		{"bad shares", nil, nil, steer(map[string]float64{"a": -1, "b": 0}), nil, "anywhere"},
 	} {
-		e := Entry{Name: "r", Owner: "acme", Zones: tt.zones, Parts: tt.parts, Contract: "c"}
+		e := Entry{Name: "r", Owner: "acme", AllowedZones: tt.zones, ZoneShares: tt.parts, Contract: "c"}
 		got := "anywhere"
 		if bound := resolve(&e, tt.steered, tt.ready); bound != nil {
 			if got = fmt.Sprint(bound.Zones); bound.DefaultShare != 0 || bound.Name != "acme:r" {
--- a/internal/route/rights.go
+++ b/internal/route/rights.go
@@ -8,7 +8,7 @@
 )
 
 // right is how much of a figure may be used on a path in this half; negative for no bound.
-func (l *Ledger) right(now time.Duration, path string, figure int) float64 {
+func (l *Limiter) right(now time.Duration, path string, figure int) float64 {
 	switch {
 	case !l.has:
 		return -1
@@ -27,7 +27,7 @@
 
 // even returns this node's part of a limit whose even part for a second, or standing, is x.
 // Fractions fall to the members in turn, by their places.
-func (l *Ledger) even(path string, figure int, x float64) float64 {
+func (l *Limiter) even(path string, figure int, x float64) float64 {
 	if x < 0 {
 		return -1
 	}
--- a/internal/route/snapshot/told.go
+++ b/internal/route/snapshot/told.go
@@ -17,23 +17,23 @@
 // Whole returns all of it, at an index of the record: routes by path, allocations by
 // contract. Regions are sets of zones by name; ready counts next hops by zone, as far as
 // the node has told them. What it returns shares the state's slices and changes nothing.
-func Whole(index uint64, a account.State, p slo.State, regions map[string][]string, ready map[string]int) route.Wire {
-	w := route.Wire{Index: index, Whole: true, Ready: ready}
+func Build(index uint64, a account.State, p slo.State, regions map[string][]string, ready map[string]int) route.Update {
+	w := route.Update{Index: index, Complete: true, ReadyEndpoints: ready}
 	held := map[string][]slo.Contract{}
 	for _, c := range p.Contracts {
 		held[c.Holder] = append(held[c.Holder], c)
 	}
 	for _, path := range slices.Sorted(maps.Keys(a.Routes)) {
 		r := a.Routes[path]
-		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, Parts: parts(r.ZoneShares, regions, ready),
-			Zones: zonesOf(a, r.Owner, regions), Contract: contract(r, p, held)})
+		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: parts(r.ZoneShares, regions, ready),
+			AllowedZones: zonesOf(a, r.Owner, regions), Contract: contract(r, p, held)})
 	}
 	for _, s := range p.Allocations {
 		shares := map[string]float64{}
 		for _, name := range slices.Sorted(maps.Keys(s.Shares)) {
 			spread(name, s.Shares[name], regions, ready, func(zone string, part float64) { shares[zone] += part })
 		}
-		w.Steer = append(w.Steer, route.Allocation{Contract: s.Contract, Shares: shares, Over: s.Overflow})
+		w.Allocations = append(w.Allocations, route.Allocation{Contract: s.Contract, Shares: shares, RejectedShare: s.Overflow})
 	}
 	return w
 }
--- a/internal/route/snapshot/told_test.go
+++ b/internal/route/snapshot/told_test.go
@@ -37,7 +37,7 @@
 			p.Contracts = []slo.Contract{tt.at}
 			p.Allocations = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
 		}
-		table, err := route.Compile(Whole(7, a, p, regions, ready))
+		table, err := route.Compile(Build(7, a, p, regions, ready))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -13,10 +13,10 @@
 
 // Route is where a transaction may go and what it counts against.
 type Route struct {
-	Name, Account string // path, and the account at its top
+	Path, Account string // path, and the account at its top
 	Contract      string
 	Bound         *balance.ZoneConstraint // nil for anywhere
-	Over          float64                 // of its set-ups, those that its contract has no room for
+	RejectedShare float64                 // of its set-ups, those that its contract has no room for
 	Levels        []string                // paths that it counts on: account, teams, the route itself
 }
 
@@ -24,7 +24,7 @@
 type Query struct {
 	Class, Tenant, Group string
 	GroupHash            uint64 // Hash of Group
-	Returned, Retry      bool
+	Returning, Retry     bool
 }
 
 // Hash is a group's place in the ranges of matches: over 2^64, from 0 up to below 1. It is
@@ -70,22 +70,22 @@
 }
 
 // Compile returns the table of a whole wire.
-func Compile(w Wire) (*Table, error) {
-	if !w.Whole {
-		return nil, fmt.Errorf("routes at %d: changes since %d, and there is nothing to change", w.Index, w.Since)
+func Compile(w Update) (*Table, error) {
+	if !w.Complete {
+		return nil, fmt.Errorf("routes at %d: changes since %d, and there is nothing to change", w.Index, w.BaseIndex)
 	}
 	return (&Table{seed: maphash.MakeSeed()}).build(w)
 }
 
 // With returns the table after a change, which has to be one since this table's index. A
 // whole wire takes the place of all.
-func (t *Table) With(change Wire) (*Table, error) {
+func (t *Table) Apply(change Update) (*Table, error) {
 	switch {
-	case change.Whole:
+	case change.Complete:
 		return Compile(change)
-	case change.Since != t.Index || change.Index < t.Index:
-		return nil, fmt.Errorf("routes: changes from %d to %d, the table is at %d", change.Since, change.Index, t.Index)
-	case len(change.Set)+len(change.Gone)+len(change.Steer) == 0 && change.Ready == nil:
+	case change.BaseIndex != t.Index || change.Index < t.Index:
+		return nil, fmt.Errorf("routes: changes from %d to %d, the table is at %d", change.BaseIndex, change.Index, t.Index)
+	case len(change.Set)+len(change.Removed)+len(change.Allocations) == 0 && change.ReadyEndpoints == nil:
 		next := *t
 		next.Index = change.Index
 		return &next, nil
@@ -93,20 +93,20 @@
 	return t.build(change)
 }
 
-func (t *Table) build(w Wire) (*Table, error) {
+func (t *Table) build(w Update) (*Table, error) {
 	next := &Table{Index: w.Index, seed: t.seed, ready: t.ready, cells: map[uint64]*cell{},
 		entries: make(map[string]Entry, len(t.entries)+len(w.Set)), steered: map[string]Allocation{}}
 	next.routes = make(map[string]*Route, len(t.entries)+len(w.Set))
 	maps.Copy(next.entries, t.entries)
 	maps.Copy(next.steered, t.steered)
-	if w.Ready != nil {
-		next.ready = w.Ready
+	if w.ReadyEndpoints != nil {
+		next.ready = w.ReadyEndpoints
 	}
-	for _, path := range w.Gone {
+	for _, path := range w.Removed {
 		delete(next.entries, path)
 	}
 	other := map[string]bool{} // routes and contracts that are not as before
-	for _, a := range w.Steer {
+	for _, a := range w.Allocations {
 		other[a.Contract] = true
 		if len(a.Shares) == 0 {
 			delete(next.steered, a.Contract)
@@ -128,7 +128,7 @@
 	for _, path := range slices.Sorted(maps.Keys(next.entries)) {
 		e := next.entries[path]
 		r := t.routes[path]
-		if r == nil || other[path] || other[e.Contract] || w.Ready != nil {
+		if r == nil || other[path] || other[e.Contract] || w.ReadyEndpoints != nil {
 			r = next.route(&e)
 		}
 		next.routes[path] = r
@@ -157,7 +157,7 @@
 func (t *Table) cell(e *Entry) *cell {
 	m := &e.Match
 	q := Query{Class: m.Class, Tenant: m.Tenant, Group: m.Group}
-	q.Returned = m.Returning != nil && *m.Returning
+	q.Returning = m.Returning != nil && *m.Returning
 	q.Retry = m.Retry != nil && *m.Retry
 	rank := m.Specificity()
 	h := t.hash(&q).of(rank, &q)
@@ -171,10 +171,10 @@
 }
 
 func (t *Table) route(e *Entry) *Route {
-	r := &Route{Name: e.Path(), Contract: e.Contract}
+	r := &Route{Path: e.Path(), Contract: e.Contract}
 	var steered *Allocation
 	if a, ok := t.steered[e.Contract]; ok && e.Contract != "" {
-		steered, r.Over = &a, a.Over
+		steered, r.RejectedShare = &a, a.RejectedShare
 	}
 	r.Bound = resolve(e, steered, t.ready)
 	for i, letter := range e.Owner {
@@ -182,7 +182,7 @@
 			r.Levels = append(r.Levels, e.Owner[:i])
 		}
 	}
-	r.Levels = append(r.Levels, e.Owner, r.Name)
+	r.Levels = append(r.Levels, e.Owner, r.Path)
 	r.Account, _, _ = strings.Cut(e.Owner, "/")
 	return r
 }
@@ -206,7 +206,7 @@
 	if rank&byGroup != 0 {
 		x = bits.RotateLeft64(x*0x9e3779b97f4a7c15, 29) ^ h.group
 	}
-	if rank&byReturned != 0 && q.Returned {
+	if rank&byReturned != 0 && q.Returning {
 		x += 0xff51afd7ed558ccd
 	}
 	if rank&byRetry != 0 && q.Retry {
@@ -218,7 +218,7 @@
 // names tells whether a transaction shows what the cell's routes name.
 func (c *cell) names(q *Query) bool {
 	return (c.rank&byClass == 0 || c.key.Class == q.Class) && (c.rank&byTenant == 0 || c.key.Tenant == q.Tenant) &&
-		(c.rank&byGroup == 0 || c.key.Group == q.Group) && (c.rank&byReturned == 0 || c.key.Returned == q.Returned) &&
+		(c.rank&byGroup == 0 || c.key.Group == q.Group) && (c.rank&byReturned == 0 || c.key.Returning == q.Returning) &&
 		(c.rank&byRetry == 0 || c.key.Retry == q.Retry)
 }
 
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -11,7 +11,7 @@
 )
 
 // entries draws routes that may tie, so that more than a checked record holds is tried.
-func entries(t *rapid.T, label string) (w Wire) {
+func entries(t *rapid.T, label string) (w Update) {
 	word := rapid.SampledFrom([]string{"", "a", "b"})
 	mark := rapid.SampledFrom([]*bool{nil, new(bool), func() *bool { b := true; return &b }()})
 	for i, n := 0, rapid.IntRange(0, 30).Draw(t, label); i < n; i++ {
@@ -26,17 +26,17 @@
 	}
 	for _, c := range []string{"c1", "c2"} {
 		if rapid.Bool().Draw(t, "steered") {
-			w.Steer = append(w.Steer, Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
+			w.Allocations = append(w.Allocations, Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
 		}
 	}
-	w.Whole = true
+	w.Complete = true
 	return w
 }
 
 func takes(m account.Match, q Query) bool {
 	place := float64(q.GroupHash) / (1 << 64)
 	return (m.Class == "" || m.Class == q.Class) && (m.Tenant == "" || m.Tenant == q.Tenant) && (m.Group == "" || m.Group == q.Group) &&
-		(m.Returning == nil || *m.Returning == q.Returned) && (m.Retry == nil || *m.Retry == q.Retry) &&
+		(m.Returning == nil || *m.Returning == q.Returning) && (m.Retry == nil || *m.Retry == q.Retry) &&
 		(m.HashTo == 0 || q.Group != "" && m.HashFrom <= place && (place < m.HashTo || m.HashTo == 1))
 }
 
@@ -50,7 +50,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		changed, err := table.With(Diff(before, after))
+		changed, err := table.Apply(Diff(before, after))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -61,7 +61,7 @@
 		word := rapid.SampledFrom([]string{"", "a", "b", "c"})
 		for range 50 {
 			q := Query{Class: word.Draw(t, "class"), Tenant: word.Draw(t, "tenant"), Group: word.Draw(t, "group"),
-				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returned: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
+				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returning: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
 			var want *Entry
 			for i := range after.Set {
 				if e := &after.Set[i]; takes(e.Match, q) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
@@ -70,7 +70,7 @@
 			}
 			for _, table := range []*Table{changed, whole} {
 				got := table.Find(q)
-				if (got == nil) != (want == nil) || got != nil && got.Name != want.Path() {
+				if (got == nil) != (want == nil) || got != nil && got.Path != want.Path() {
 					t.Fatalf("%+v: found %+v, want %+v", q, got, want)
 				}
 				if got != nil && fmt.Sprint(got.Bound) != fmt.Sprint(whole.Find(q).Bound) {
@@ -82,18 +82,18 @@
 }
 
 func TestBadWires(t *testing.T) {
-	good, err := Compile(Wire{Index: 3, Whole: true})
+	good, err := Compile(Update{Index: 3, Complete: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for want, w := range map[string]Wire{
-		"nothing to change":  {Index: 4, Since: 3},
-		"changes from 2":     {Index: 4, Since: 2},
-		"changes from 3 to":  {Index: 2, Since: 3},
-		"no name":            {Index: 4, Since: 3, Set: []Entry{{Owner: "acme"}}},
-		`"acme:r": range 1 `: {Whole: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
+	for want, w := range map[string]Update{
+		"nothing to change":  {Index: 4, BaseIndex: 3},
+		"changes from 2":     {Index: 4, BaseIndex: 2},
+		"changes from 3 to":  {Index: 2, BaseIndex: 3},
+		"no name":            {Index: 4, BaseIndex: 3, Set: []Entry{{Owner: "acme"}}},
+		`"acme:r": range 1 `: {Complete: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
 	} {
-		_, err := good.With(w)
+		_, err := good.Apply(w)
 		if want == "nothing to change" {
 			_, err = Compile(w)
 		}
@@ -104,7 +104,7 @@
 }
 
 func TestLevelsOfARoute(t *testing.T) {
-	table, err := Compile(Wire{Whole: true, Set: []Entry{{Owner: "acme/web/eu", Name: "all"}}})
+	table, err := Compile(Update{Complete: true, Set: []Entry{{Owner: "acme/web/eu", Name: "all"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,7 +129,7 @@
 
 func BenchmarkFind(bm *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		w := Wire{Whole: true}
+		w := Update{Complete: true}
 		var asked []Query
 		for i := range n {
 			e := Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
--- a/internal/route/wire.go
+++ b/internal/route/wire.go
@@ -14,24 +14,24 @@
 
 // Wire is what the agent tells its node of the record: the whole, or what has changed since
 // an index. Regions are zones by then.
-type Wire struct {
-	Index uint64         `json:"index"`
-	Whole bool           `json:"whole,omitempty"`
-	Since uint64         `json:"since,omitempty"` // the Index that changes are made to
-	Set   []Entry        `json:"set,omitempty"`   // routes that are new or others than before
-	Gone  []string       `json:"gone,omitempty"`  // paths of routes that are no more
-	Steer []Allocation   `json:"steer,omitempty"` // by contract; without shares it is no more
-	Ready map[string]int `json:"ready,omitempty"` // ready next hops by zone, all of them; nil for as before
+type Update struct {
+	Index          uint64         `json:"index"`
+	Complete       bool           `json:"whole,omitempty"`
+	BaseIndex      uint64         `json:"since,omitempty"` // the Index that changes are made to
+	Set            []Entry        `json:"set,omitempty"`   // routes that are new or others than before
+	Removed        []string       `json:"gone,omitempty"`  // paths of routes that are no more
+	Allocations    []Allocation   `json:"steer,omitempty"` // by contract; without shares it is no more
+	ReadyEndpoints map[string]int `json:"ready,omitempty"` // ready next hops by zone, all of them; nil for as before
 }
 
 // Entry is a route as the node needs it.
 type Entry struct {
-	Name     string              `json:"name"`  // within its owner
-	Owner    string              `json:"owner"` // path, such as acme/web
-	Match    account.Match       `json:"match"`
-	Parts    []account.ZoneShare `json:"parts,omitempty"` // in percent of the route's transactions
-	Zones    []string            `json:"zones,omitempty"` // that the owner may use; empty for all
-	Contract string              `json:"contract,omitempty"`
+	Name         string              `json:"name"`  // within its owner
+	Owner        string              `json:"owner"` // path, such as acme/web
+	Match        account.Match       `json:"match"`
+	ZoneShares   []account.ZoneShare `json:"parts,omitempty"` // in percent of the route's transactions
+	AllowedZones []string            `json:"zones,omitempty"` // that the owner may use; empty for all
+	Contract     string              `json:"contract,omitempty"`
 }
 
 // Path is how limits and counts name the route.
@@ -40,9 +40,9 @@
 // Allocation is where a contract's transactions go: shares of zones that add up to 1, what
 // explores among them.
 type Allocation struct {
-	Contract string             `json:"contract"`
-	Shares   map[string]float64 `json:"shares,omitempty"`
-	Over     float64            `json:"over,omitempty"` // of its set-ups, those that nobody has room for
+	Contract      string             `json:"contract"`
+	Shares        map[string]float64 `json:"shares,omitempty"`
+	RejectedShare float64            `json:"over,omitempty"` // of its set-ups, those that nobody has room for
 }
 
 // most bounds a table: as many routes as an account room keeps, and more.
@@ -60,8 +60,8 @@
 }
 
 // Diff returns what has to be told of after to who has before; both are whole.
-func Diff(before, after Wire) Wire {
-	w := Wire{Index: after.Index, Since: before.Index}
+func Diff(before, after Update) Update {
+	w := Update{Index: after.Index, BaseIndex: before.Index}
 	was := map[string]*Entry{}
 	for i := range before.Set {
 		was[before.Set[i].Path()] = &before.Set[i]
@@ -72,23 +72,23 @@
 		}
 		delete(was, e.Path())
 	}
-	w.Gone = slices.Sorted(maps.Keys(was))
+	w.Removed = slices.Sorted(maps.Keys(was))
 	steered := map[string]Allocation{}
-	for _, a := range before.Steer {
+	for _, a := range before.Allocations {
 		steered[a.Contract] = a
 	}
-	for _, a := range after.Steer {
-		if old, ok := steered[a.Contract]; !ok || old.Over != a.Over || !maps.Equal(old.Shares, a.Shares) {
-			w.Steer = append(w.Steer, a)
+	for _, a := range after.Allocations {
+		if old, ok := steered[a.Contract]; !ok || old.RejectedShare != a.RejectedShare || !maps.Equal(old.Shares, a.Shares) {
+			w.Allocations = append(w.Allocations, a)
 		}
 		delete(steered, a.Contract)
 	}
 	for _, name := range slices.Sorted(maps.Keys(steered)) {
-		w.Steer = append(w.Steer, Allocation{Contract: name})
+		w.Allocations = append(w.Allocations, Allocation{Contract: name})
 	}
-	if !maps.Equal(before.Ready, after.Ready) {
-		if w.Ready = after.Ready; w.Ready == nil {
-			w.Ready = map[string]int{}
+	if !maps.Equal(before.ReadyEndpoints, after.ReadyEndpoints) {
+		if w.ReadyEndpoints = after.ReadyEndpoints; w.ReadyEndpoints == nil {
+			w.ReadyEndpoints = map[string]int{}
 		}
 	}
 	return w
