--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -19,8 +19,8 @@
 
 // newMember is this agent's part in gossip.
 func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Agent {
-	cfg := quota.Config{Epoch: f.Epoch.Duration, Hold: f.Hold.Duration, Fresh: f.Fresh.Duration, Retries: f.Retries, Shun: f.Shun}
-	guards := quota.Guards{Ranks: mutation.Enabled("ranks"), Expire: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), Budget: mutation.Enabled("budget")}
+	cfg := quota.Config{Epoch: f.Epoch.Duration, LeaseTimeout: f.Hold.Duration, ReportTTL: f.Fresh.Duration, RetryRatio: f.Retries, MaxOutlierFraction: f.Shun}
+	guards := quota.Guards{RankedAllocation: mutation.Enabled("ranks"), LeaseExpiry: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), RetryBudget: mutation.Enabled("budget")}
 	m := gossip.NewAgent(f.Name, cfg, guards, clock)
 	m.Zone = f.Zone
 	if f.ReplicatedLog.IsEnabled() {
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -99,7 +99,7 @@
 	cfg := zonestatus.DefaultConfig()
 	w := &world{ledger: newLedger(t, logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: cfg}), failed: map[string]float64{}, began: time.Now()}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	m := gossip.NewAgent("n1", quota.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: 3 * time.Second, Retries: 0.2, Shun: 0.25}, quota.Guards{}, clock)
+	m := gossip.NewAgent("n1", quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}, quota.Guards{}, clock)
 	m.Zone = "a"
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
 		m.Saw(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
--- a/internal/fleet/gossip/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -41,9 +41,9 @@
 	raw    map[string][]byte // as it travels
 	given  Decided
 	seq    uint64
-	half   int64                // of the node's last word
-	spent  map[quota.Server]int // in that half
-	prior  map[quota.Server]int // in the half before it
+	half   int64                  // of the node's last word
+	spent  map[quota.Endpoint]int // in that half
+	prior  map[quota.Endpoint]int // in the half before it
 	seed   maphash.Seed
 	heard  [4096]uint64 // marks of reports that were taken
 	spread func(name string, report []byte)
@@ -59,11 +59,11 @@
 
 // NewAgent returns a member by that name that knows nobody.
 func NewAgent(name string, cfg quota.Config, ignore quota.Guards, clock func() time.Duration) *Agent {
-	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.New(name, cfg),
+	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.NewState(name, cfg),
 		places: map[string]place{}, words: map[string]word{},
 		uses: map[string]Use{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
-		spent: map[quota.Server]int{}, prior: map[quota.Server]int{}, spread: func(string, []byte) {}}
-	a.state.Ignore = ignore
+		spent: map[quota.Endpoint]int{}, prior: map[quota.Endpoint]int{}, spread: func(string, []byte) {}}
+	a.state.DisabledGuards = ignore
 	return a
 }
 
@@ -82,8 +82,8 @@
 	defer a.mu.Unlock()
 	a.own(now, sp)
 	a.forget(now)
-	half, _, end := a.cfg.Half(now)
-	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.Retries(now), ShedFraction: a.given.Over}
+	half, _, end := a.cfg.Period(now)
+	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.RetryBudget(now), ShedFraction: a.given.Over}
 	old := a.half == half && sp.Period < half // a new process of the node: the old one had this half's tokens
 	for _, b := range a.given.Bounds {
 		g.Zones = append(g.Zones, a.zoneGrant(now, b, old))
@@ -91,10 +91,10 @@
 	if old {
 		return g
 	}
-	for _, t := range a.state.Deal(now) {
-		g.Servers = append(g.Servers, balance.ServerQuota{ID: t.ID, StartedAt: time.Duration(t.Started) * time.Millisecond, Tokens: t.Tokens})
+	for _, t := range a.state.Allocate(now) {
+		g.Servers = append(g.Servers, balance.ServerQuota{ID: t.ID, StartedAt: time.Duration(t.StartedAt) * time.Millisecond, Tokens: t.Tokens})
 	}
-	for _, s := range a.state.Shunned(now) {
+	for _, s := range a.state.Outliers(now) {
 		g.EjectedServers = append(g.EjectedServers, s.ID)
 	}
 	return g
@@ -104,7 +104,7 @@
 	g := balance.ZoneQuota{Zone: b.Zone, Share: b.Share, Tokens: -1}
 	if b.Rate > 0 {
 		if g.Tokens = 0; !spent {
-			g.Tokens = a.state.Rate(now, quota.Zone(b.Zone), b.Rate)
+			g.Tokens = a.state.AllocateRate(now, quota.ZoneKey(b.Zone), b.Rate)
 		}
 	}
 	return g
@@ -114,33 +114,33 @@
 func (a *Agent) own(now time.Duration, sp balance.QuotaUsage) {
 	if sp.Period > a.half {
 		if a.prior = a.spent; sp.Period > a.half+1 {
-			a.prior = map[quota.Server]int{}
+			a.prior = map[quota.Endpoint]int{}
 		}
-		a.half, a.spent = sp.Period, map[quota.Server]int{}
+		a.half, a.spent = sp.Period, map[quota.Endpoint]int{}
 	}
 	a.seq++
-	w := word{Report: quota.Report{Member: a.name, Boot: a.boot, Seq: a.seq, At: now, Half: a.half, Firsts: sp.FirstAttempts, Retries: sp.Retries},
+	w := word{Report: quota.Report{Member: a.name, Incarnation: a.boot, Seq: a.seq, ReportedAt: now, Period: a.half, FirstAttempts: sp.FirstAttempts, Retries: sp.Retries},
 		Zone: a.Zone, Index: a.given.Index, Sights: sights(sp.Servers)}
 	for _, x := range sp.Servers {
-		s := quota.Server{ID: x.ID, Started: x.StartedAt.Milliseconds()}
+		s := quota.Endpoint{ID: x.ID, StartedAt: x.StartedAt.Milliseconds()}
 		if sp.Period == a.half && x.Used > 0 {
 			a.spent[s] = x.Used
 		}
 		if x.RecentAttempts >= asked || x.WarmingUp {
-			u := quota.Use{Server: s, Cold: x.WarmingUp, Part: x.ColdBudget, Asked: x.RecentAttempts, Failed: x.RecentFailures}
+			u := quota.Usage{Endpoint: s, WarmingUp: x.WarmingUp, Demand: x.ColdBudget, Attempts: x.RecentAttempts, FailedAttempts: x.RecentFailures}
 			if x.WarmingUp { // tokens are for cold ones alone
-				u.Spent, u.Prior = a.spent[s], a.prior[s]
+				u.Spent, u.PriorSpent = a.spent[s], a.prior[s]
 			}
-			w.Uses = append(w.Uses, u)
+			w.Usages = append(w.Usages, u)
 		}
 	}
 	for _, z := range sp.Zones {
-		s := quota.Zone(z.Zone)
+		s := quota.ZoneKey(z.Zone)
 		if sp.Period == a.half && z.Used > 0 {
 			a.spent[s] = z.Used
 		}
-		if u := (quota.Use{Server: s, Spent: a.spent[s], Prior: a.prior[s]}); u.Spent+u.Prior > 0 {
-			w.Uses = append(w.Uses, u)
+		if u := (quota.Usage{Endpoint: s, Spent: a.spent[s], PriorSpent: a.prior[s]}); u.Spent+u.PriorSpent > 0 {
+			w.Usages = append(w.Usages, u)
 		}
 	}
 	a.keep(w)
--- a/internal/fleet/gossip/member_test.go
+++ b/internal/fleet/gossip/member_test.go
@@ -16,7 +16,7 @@
 	"coralrelay/internal/fleet/quota"
 )
 
-var cfg = quota.Config{Epoch: 1500 * time.Millisecond, Hold: time.Minute, Fresh: time.Minute, Retries: 0.1, Shun: 1}
+var cfg = quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: time.Minute, RetryRatio: 0.1, MaxOutlierFraction: 1}
 
 func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
--- a/internal/fleet/gossip/roster.go
+++ b/internal/fleet/gossip/roster.go
@@ -42,7 +42,7 @@
 	slog.Info("fleet: member", "name", name, "status", status, "zone", p.Zone)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.Saw(a.clock(), name, status)
+	a.state.SetMemberStatus(a.clock(), name, status)
 	if _, known := a.state.Members()[name]; known && name != a.name {
 		a.places[name] = p
 	}
@@ -50,7 +50,7 @@
 
 // forget drops what is known of members that share forgets.
 func (a *Agent) forget(now time.Duration) {
-	a.state.Forget(now)
+	a.state.RemoveExpired(now)
 	known := a.state.Members()
 	gone := func(name string) bool { _, ok := known[name]; return !ok }
 	maps.DeleteFunc(a.places, func(name string, _ place) bool { return gone(name) })
@@ -69,7 +69,7 @@
 		if name == a.name {
 			p = place{a.Zone, a.Record}
 		}
-		m.Zone, m.Record, m.Index, m.At = p.Zone, p.Record, w.Index, w.At.Milliseconds()
+		m.Zone, m.Record, m.Index, m.At = p.Zone, p.Record, w.Index, w.ReportedAt.Milliseconds()
 		all = append(all, m)
 	}
 	slices.SortFunc(all, func(x, y Standing) int { return cmp.Compare(x.Name, y.Name) })
@@ -99,7 +99,7 @@
 
 // zones is the evidence in a word.
 func (w word) zones() zonestatus.Report {
-	z := zonestatus.Report{Member: w.Member, Zone: w.Zone, ReportedAt: w.At, Observations: make([]zonestatus.Observation, len(w.Sights))}
+	z := zonestatus.Report{Member: w.Member, Zone: w.Zone, ReportedAt: w.ReportedAt, Observations: make([]zonestatus.Observation, len(w.Sights))}
 	for i, s := range w.Sights {
 		z.Observations[i] = zonestatus.Observation(s)
 	}
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -20,10 +20,10 @@
 
 func storedReport() word {
 	return word{
-		Report: quota.Report{Member: "node-b", Boot: 101, Seq: 102, At: 103, Half: 104, Firsts: 105.5, Retries: 106.5,
-			Uses: []quota.Use{
-				{Server: quota.Server{ID: "server-a", Started: 107}, Cold: true, Part: 0.125, Spent: 108, Prior: 109, Asked: 110.5, Failed: 111.5},
-				{Server: quota.Zone("zone-a"), Cold: true, Part: 0.25, Spent: 112, Prior: 113, Asked: 114.5, Failed: 115.5},
+		Report: quota.Report{Member: "node-b", Incarnation: 101, Seq: 102, ReportedAt: 103, Period: 104, FirstAttempts: 105.5, Retries: 106.5,
+			Usages: []quota.Usage{
+				{Endpoint: quota.Endpoint{ID: "server-a", StartedAt: 107}, WarmingUp: true, Demand: 0.125, Spent: 108, PriorSpent: 109, Attempts: 110.5, FailedAttempts: 111.5},
+				{Endpoint: quota.ZoneKey("zone-a"), WarmingUp: true, Demand: 0.25, Spent: 112, PriorSpent: 113, Attempts: 114.5, FailedAttempts: 115.5},
 			}},
 		Zone: "zone-b", Index: 116,
 		Sights: []sight{
--- a/internal/fleet/gossip/word.go
+++ b/internal/fleet/gossip/word.go
@@ -121,21 +121,21 @@
 
 // rank says how late a use is dropped: what was spent of tokens last, as silence would be
 // taken for nothing spent; before it what fails, and before that what was asked most.
-func rank(u quota.Use) float64 {
+func rank(u quota.Usage) float64 {
 	switch {
-	case u.Cold || u.Spent+u.Prior > 0:
+	case u.WarmingUp || u.Spent+u.PriorSpent > 0:
 		return 2e9
-	case u.Failed > 0:
-		return 1e9 + u.Failed
+	case u.FailedAttempts > 0:
+		return 1e9 + u.FailedAttempts
 	}
-	return u.Asked
+	return u.Attempts
 }
 
 // pack writes a report, with as many uses as fit a datagram. What it says of zones fits
 // beside them unless their names are escaped at length: then the last by name are dropped.
 func (w word) pack() []byte {
-	w.Uses = slices.Clone(w.Uses)
-	slices.SortStableFunc(w.Uses, func(x, y quota.Use) int { return cmp.Compare(rank(y), rank(x)) })
+	w.Usages = slices.Clone(w.Usages)
+	slices.SortStableFunc(w.Usages, func(x, y quota.Usage) int { return cmp.Compare(rank(y), rank(x)) })
 	for {
 		raw, err := json.Marshal(w)
 		if err != nil { // no number that JSON can't write passes the module
@@ -143,10 +143,10 @@
 			return nil
 		}
 		switch {
-		case len(raw) <= largest || len(w.Uses)+len(w.Sights) == 0:
+		case len(raw) <= largest || len(w.Usages)+len(w.Sights) == 0:
 			return raw
-		case len(w.Uses) > 0:
-			w.Uses = w.Uses[:len(w.Uses)*largest/len(raw)]
+		case len(w.Usages) > 0:
+			w.Usages = w.Usages[:len(w.Usages)*largest/len(raw)]
 		default:
 			w.Sights = w.Sights[:len(w.Sights)-1]
 		}
--- a/internal/fleet/gossip/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -13,15 +13,15 @@
 // What is dropped of a report that does not fit is what was asked least; what was spent of
 // tokens and what was seen of 12 zones stays.
 func TestReportsFitADatagram(t *testing.T) {
-	w := word{Report: quota.Report{Member: strings.Repeat("n", 64), Boot: 1.7e18, Seq: 1e9, At: 1.7e18, Half: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
+	w := word{Report: quota.Report{Member: strings.Repeat("n", 64), Incarnation: 1.7e18, Seq: 1e9, ReportedAt: 1.7e18, Period: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
 	var servers []balance.ServerUsage
 	for i := range 500 {
-		u := quota.Use{Server: quota.Server{ID: fmt.Sprintf("s-%08x", i), Started: 1_700_000_000_000}, Asked: float64(i)}
-		u.Cold, u.Failed = i == 7, float64(i%100/99)
-		w.Uses = append(w.Uses, u)
+		u := quota.Usage{Endpoint: quota.Endpoint{ID: fmt.Sprintf("s-%08x", i), StartedAt: 1_700_000_000_000}, Attempts: float64(i)}
+		u.WarmingUp, u.FailedAttempts = i == 7, float64(i%100/99)
+		w.Usages = append(w.Usages, u)
 		servers = append(servers, balance.ServerUsage{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), RecentAttempts: 12.3456789, RecentFailures: 1.0 / 3, Load: 1.0 / 7})
 	}
-	w.Uses = append(w.Uses, quota.Use{Server: quota.Zone("b"), Spent: 3})
+	w.Usages = append(w.Usages, quota.Usage{Endpoint: quota.ZoneKey("b"), Spent: 3})
 	w.Sights = sights(servers)
 	raw := w.pack()
 	if len(raw) > largest {
--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -13,47 +13,47 @@
 const clamp = 3.0
 
 // Token is how many connections this member may send one next hop.
-type Token struct {
-	Server
+type TokenGrant struct {
+	Endpoint
 	Tokens int `json:"tokens"`
 }
 
 // Deal returns this member's tokens for the half epoch in which now lies, for every next
 // hop that any member holds for cold, by id.
-func (s *State) Deal(now time.Duration) (deal []Token) {
+func (s *State) Allocate(now time.Duration) (deal []TokenGrant) {
 	holders := s.holders(now)
-	cold := map[Server]bool{}
+	cold := map[Endpoint]bool{}
 	for _, name := range holders {
 		m := s.members[name]
 		for server, u := range m.uses {
-			if u.Cold && now-m.report.At < s.cfg.Hold {
+			if u.WarmingUp && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
 				cold[server] = true
 			}
 		}
 	}
-	half, _, _ := s.cfg.Half(now)
+	half, _, _ := s.cfg.Period(now)
 	for server := range cold {
 		whole := s.budget(now, half/2, server, holders)
-		deal = append(deal, Token{server, s.tokens(now, half, whole, server, holders)})
+		deal = append(deal, TokenGrant{server, s.tokens(now, half, whole, server, holders)})
 	}
-	slices.SortFunc(deal, func(a, b Token) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started))
+	slices.SortFunc(deal, func(a, b TokenGrant) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
 	return deal
 }
 
 // Zone is the name under which the set-ups into a zone are dealt. No next hop has it: none
 // started before 1970.
-func Zone(name string) Server { return Server{ID: name, Started: -1} }
+func ZoneKey(name string) Endpoint { return Endpoint{ID: name, StartedAt: -1} }
 
 // Rate returns this member's tokens for the half epoch in which now lies, of a rate a second
 // that all members know and keep to together. Half of it is dealt in an epoch, so that two
 // epochs, which a window may touch, make no more than the whole.
-func (s *State) Rate(now time.Duration, server Server, rate float64) int {
+func (s *State) AllocateRate(now time.Duration, server Endpoint, rate float64) int {
 	if !(rate > 0) {
 		return 0
 	}
-	half, _, _ := s.cfg.Half(now)
+	half, _, _ := s.cfg.Period(now)
 	whole := rounded(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, server, half/2)
 	return s.tokens(now, half, whole, server, s.holders(now))
 }
@@ -61,27 +61,27 @@
 // tokens deals a budget: whole in an epoch's first half, and what is known not to
 // have been spent in the second. Who has not reported since the first half's end counts as
 // having spent all that he had.
-func (s *State) tokens(now time.Duration, half int64, whole int, server Server, holders []string) int {
+func (s *State) tokens(now time.Duration, half int64, whole int, server Endpoint, holders []string) int {
 	first := dealt(whole, server, half/2*2, holders)
 	if half%2 == 0 {
-		if s.Ignore.Ranks {
+		if s.DisabledGuards.RankedAllocation {
 			return whole
 		}
 		return first[s.self]
 	}
 	left := whole
-	_, begin, _ := s.cfg.Half(now)
+	_, begin, _ := s.cfg.Period(now)
 	for _, name := range holders {
 		m := s.members[name]
 		spent := first[name]
-		if r := m.report; r != nil && r.Half == half-1 && r.At >= begin {
+		if r := m.report; r != nil && r.Period == half-1 && r.ReportedAt >= begin {
 			spent = m.uses[server].Spent
-		} else if r != nil && r.Half == half {
-			spent = m.uses[server].Prior
+		} else if r != nil && r.Period == half {
+			spent = m.uses[server].PriorSpent
 		}
 		left -= spent
 	}
-	if s.Ignore.Ranks {
+	if s.DisabledGuards.RankedAllocation {
 		return max(left, 0)
 	}
 	return dealt(max(left, 0), server, half, holders)[s.self]
@@ -89,12 +89,12 @@
 
 // budget is what all may send a server within an epoch: the sum of their parts, none over
 // clamp times the median.
-func (s *State) budget(now time.Duration, epoch int64, server Server, holders []string) int {
+func (s *State) budget(now time.Duration, epoch int64, server Endpoint, holders []string) int {
 	var parts []float64
 	for _, name := range holders {
-		if m := s.members[name]; m.report != nil && now-m.report.At < s.cfg.Hold {
-			if u := m.uses[server]; u.Cold {
-				parts = append(parts, u.Part)
+		if m := s.members[name]; m.report != nil && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
+			if u := m.uses[server]; u.WarmingUp {
+				parts = append(parts, u.Demand)
 			}
 		}
 	}
@@ -111,9 +111,9 @@
 }
 
 // rounded is a budget in whole tokens: a fraction becomes one more in as many epochs.
-func rounded(budget float64, server Server, epoch int64) int {
+func rounded(budget float64, server Endpoint, epoch int64) int {
 	whole, fraction := math.Modf(budget)
-	if float64(hash(server.ID, uint64(server.Started), uint64(epoch))%1e6)/1e6 < fraction {
+	if float64(hash(server.ID, uint64(server.StartedAt), uint64(epoch))%1e6)/1e6 < fraction {
 		whole++
 	}
 	return int(min(whole, 1e6))
@@ -123,11 +123,11 @@
 // who come first by their hash with the server and the half. More tokens never mean fewer
 // for anyone, so that members who reckon with different numbers together spend no more
 // than the greatest of them.
-func dealt(tokens int, server Server, half int64, holders []string) map[string]int {
+func dealt(tokens int, server Endpoint, half int64, holders []string) map[string]int {
 	ranked := slices.Clone(holders)
 	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.Started), uint64(half)),
-			hash(b+"\x00"+server.ID, uint64(server.Started), uint64(half))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.StartedAt), uint64(half)),
+			hash(b+"\x00"+server.ID, uint64(server.StartedAt), uint64(half))), cmp.Compare(a, b))
 	})
 	of := make(map[string]int, len(ranked))
 	for rank, name := range ranked {
--- a/internal/fleet/quota/budget_test.go
+++ b/internal/fleet/quota/budget_test.go
@@ -13,16 +13,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
 		w := newWorld(n, cfg)
-		b, prior := Zone("b"), make([]int, n)
+		b, prior := ZoneKey("b"), make([]int, n)
 		for range rapid.IntRange(1, 5).Draw(t, "epochs") {
 			spent, most := 0, 0.0
 			for phase := range 2 {
-				half, _, end := cfg.Half(w.now)
+				half, _, end := cfg.Period(w.now)
 				used := make([]int, n)
 				for i, s := range w.states { // each has heard of the change, or not yet
 					rate := rapid.SampledFrom([]float64{0, 2.5, 40}).Draw(t, "rate")
 					most = max(most, rate)
-					tokens := s.Rate(w.now, b, rate)
+					tokens := s.AllocateRate(w.now, b, rate)
 					if rate == 0 && tokens != 0 {
 						t.Fatalf("%d tokens of no rate", tokens)
 					}
@@ -31,7 +31,7 @@
 				}
 				w.now = end
 				for i := range n {
-					r := w.report(i, half, Use{Server: b, Spent: used[i], Prior: prior[i]})
+					r := w.report(i, half, Usage{Endpoint: b, Spent: used[i], PriorSpent: prior[i]})
 					for _, s := range w.states {
 						if rapid.Bool().Draw(t, "heard") {
 							s.Merge(r)
--- a/internal/fleet/quota/retries.go
+++ b/internal/fleet/quota/retries.go
@@ -6,8 +6,8 @@
 // allow and it has not used, and its part of what the others have left. Parts are of all
 // members that there are, heard of late or not: several who have heard the same one and not
 // each other would else take more than he has left.
-func (s *State) Retries(now time.Duration) float64 {
-	if s.Ignore.Budget {
+func (s *State) RetryBudget(now time.Duration) float64 {
+	if s.DisabledGuards.RetryBudget {
 		return 1e6
 	}
 	own, others, n := 0.0, 0.0, 0
@@ -18,7 +18,7 @@
 		if !s.fresh(now, m) {
 			continue
 		}
-		if left := s.cfg.Retries*m.report.Firsts - m.report.Retries; name == s.self {
+		if left := s.cfg.RetryRatio*m.report.FirstAttempts - m.report.Retries; name == s.self {
 			own = left
 		} else {
 			others += max(left, 0)
--- a/internal/fleet/quota/share.go
+++ b/internal/fleet/quota/share.go
@@ -20,25 +20,25 @@
 
 // Config is what all members are given alike.
 type Config struct {
-	Epoch   time.Duration // a cold next hop's window; its budget is dealt for so long
-	Hold    time.Duration // who has gone silent keeps his tokens for so long
-	Fresh   time.Duration // an accusation or a retry count counts for so long
-	Retries float64       // retries allowed for a first try
-	Shun    float64       // share of the next hops that verdicts may cover at most
+	Epoch              time.Duration // a cold next hop's window; its budget is dealt for so long
+	LeaseTimeout       time.Duration // who has gone silent keeps his tokens for so long
+	ReportTTL          time.Duration // an accusation or a retry count counts for so long
+	RetryRatio         float64       // retries allowed for a first try
+	MaxOutlierFraction float64       // share of the next hops that verdicts may cover at most
 }
 
 // Check names the first key that can't be worked with.
-func (c Config) Check() string {
+func (c Config) InvalidKey() string {
 	switch {
 	case c.Epoch < 10*time.Millisecond:
 		return "epoch"
-	case c.Hold < c.Epoch:
+	case c.LeaseTimeout < c.Epoch:
 		return "hold"
-	case c.Fresh <= 0:
+	case c.ReportTTL <= 0:
 		return "fresh"
-	case !(c.Retries >= 0 && c.Retries <= 10):
+	case !(c.RetryRatio >= 0 && c.RetryRatio <= 10):
 		return "retries"
-	case !(c.Shun >= 0 && c.Shun <= 1):
+	case !(c.MaxOutlierFraction >= 0 && c.MaxOutlierFraction <= 1):
 		return "shun"
 	}
 	return ""
@@ -46,7 +46,7 @@
 
 // Half is the number of the half epoch in which now lies, and when it begins and ends.
 // Even halves are the first of their epoch.
-func (c Config) Half(now time.Duration) (half int64, begin, end time.Duration) {
+func (c Config) Period(now time.Duration) (half int64, begin, end time.Duration) {
 	length := c.Epoch / 2
 	half = int64(now / length)
 	return half, time.Duration(half) * length, time.Duration(half+1) * length
@@ -57,52 +57,52 @@
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
 type Guards struct {
-	Ranks  bool // deal by everyone's own reckoning: each takes the whole
-	Expire bool // never forget who has failed
-	Quorum bool // one accuser is enough
-	Budget bool // no bound on retries
+	RankedAllocation bool // deal by everyone's own reckoning: each takes the whole
+	LeaseExpiry      bool // never forget who has failed
+	Quorum           bool // one accuser is enough
+	RetryBudget      bool // no bound on retries
 }
 
 // Server names one process of a next hop.
-type Server struct {
-	ID      string `json:"id"`
-	Started int64  `json:"started,omitempty"` // Unix milliseconds; 0 for long ago
+type Endpoint struct {
+	ID        string `json:"id"`
+	StartedAt int64  `json:"started,omitempty"` // Unix milliseconds; 0 for long ago
 }
 
 // Use is what one member says of one next hop.
-type Use struct {
-	Server
-	Cold   bool    `json:"cold,omitempty"`
-	Part   float64 `json:"part,omitempty"`   // of the budget for an epoch, by this member's traffic alone; connections
-	Spent  int     `json:"spent,omitempty"`  // of the tokens of the report's half; never falls within it
-	Prior  int     `json:"prior,omitempty"`  // of those of the half before, all told
-	Asked  float64 `json:"asked,omitempty"`  // branches and failed probes of late
-	Failed float64 `json:"failed,omitempty"` // of them, those that failed
+type Usage struct {
+	Endpoint
+	WarmingUp      bool    `json:"cold,omitempty"`
+	Demand         float64 `json:"part,omitempty"`   // of the budget for an epoch, by this member's traffic alone; connections
+	Spent          int     `json:"spent,omitempty"`  // of the tokens of the report's half; never falls within it
+	PriorSpent     int     `json:"prior,omitempty"`  // of those of the half before, all told
+	Attempts       float64 `json:"asked,omitempty"`  // branches and failed probes of late
+	FailedAttempts float64 `json:"failed,omitempty"` // of them, those that failed
 }
 
 // Report is one member's word, and replaces its earlier ones.
 type Report struct {
-	Member  string        `json:"member"`
-	Boot    int64         `json:"boot"` // of its process; a later one replaces all
-	Seq     uint64        `json:"seq"`
-	At      time.Duration `json:"at"`   // Unix time
-	Half    int64         `json:"half"` // that Spent is about
-	Firsts  float64       `json:"firsts"`
-	Retries float64       `json:"retries"` // both of late, fading
-	Uses    []Use         `json:"uses,omitempty"`
+	Member        string        `json:"member"`
+	Incarnation   int64         `json:"boot"` // of its process; a later one replaces all
+	Seq           uint64        `json:"seq"`
+	ReportedAt    time.Duration `json:"at"`   // Unix time
+	Period        int64         `json:"half"` // that Spent is about
+	FirstAttempts float64       `json:"firsts"`
+	Retries       float64       `json:"retries"` // both of late, fading
+	Usages        []Usage       `json:"uses,omitempty"`
 }
 
 // newer tells whether r replaces o: the greater in this order, so that merging is
 // commutative, associative and idempotent.
 func (r *Report) newer(o *Report) bool {
-	return cmp.Or(cmp.Compare(r.Boot, o.Boot), cmp.Compare(r.Seq, o.Seq)) > 0
+	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.Seq, o.Seq)) > 0
 }
 
 // sound tells whether a report can be true: it comes from outside.
 func (r *Report) sound() bool {
 	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return r.Member != "" && len(r.Member) <= 64 && len(r.Uses) <= mostServers && good(r.Firsts) && good(r.Retries) &&
-		!slices.ContainsFunc(r.Uses, func(u Use) bool {
-			return u.ID == "" || !good(u.Part) || u.Spent < 0 || u.Spent > 1e6 || u.Prior < 0 || u.Prior > 1e6 || !good(u.Asked) || !good(u.Failed)
+	return r.Member != "" && len(r.Member) <= 64 && len(r.Usages) <= mostServers && good(r.FirstAttempts) && good(r.Retries) &&
+		!slices.ContainsFunc(r.Usages, func(u Usage) bool {
+			return u.ID == "" || !good(u.Demand) || u.Spent < 0 || u.Spent > 1e6 || u.PriorSpent < 0 || u.PriorSpent > 1e6 || !good(u.Attempts) || !good(u.FailedAttempts)
 		})
 }
--- a/internal/fleet/quota/share_test.go
+++ b/internal/fleet/quota/share_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 )
 
-var cfg = Config{Epoch: 1500 * time.Millisecond, Hold: 30 * time.Second, Fresh: 3 * time.Second, Retries: 0.2, Shun: 0.25}
+var cfg = Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: 30 * time.Second, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}
 
-var cold = Server{ID: "s", Started: 7}
+var cold = Endpoint{ID: "s", StartedAt: 7}
 
 const start = 1_000_000 * 1500 * time.Millisecond // an epoch's begin
 
@@ -29,9 +29,9 @@
 		w.names = append(w.names, fmt.Sprint("n", i))
 	}
 	for _, name := range w.names {
-		s := New(name, c)
+		s := NewState(name, c)
 		for _, other := range w.names {
-			s.Saw(w.now, other, Alive)
+			s.SetMemberStatus(w.now, other, Alive)
 		}
 		w.states = append(w.states, s)
 	}
@@ -39,9 +39,9 @@
 }
 
 // report has member i report, and returns it for whoever hears it.
-func (w *world) report(i int, half int64, u ...Use) Report {
+func (w *world) report(i int, half int64, u ...Usage) Report {
 	w.seq++
-	r := Report{Member: w.names[i], Boot: 1, Seq: w.seq, At: w.now, Half: half, Uses: u}
+	r := Report{Member: w.names[i], Incarnation: 1, Seq: w.seq, ReportedAt: w.now, Period: half, Usages: u}
 	w.states[i].Merge(r)
 	return r
 }
@@ -55,7 +55,7 @@
 		part := rapid.Float64Range(0, 6).Draw(t, "part")
 		w := newWorld(n, cfg)
 		for i := range n { // all have heard of all, once
-			r := w.report(i, 0, Use{Server: cold, Cold: true, Part: part})
+			r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: part})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
@@ -66,15 +66,15 @@
 				for i, s := range w.states {
 					for j := range w.names {
 						if i%2 != j%2 {
-							s.Saw(w.now, w.names[j], Failed)
+							s.SetMemberStatus(w.now, w.names[j], Failed)
 						}
 					}
 				}
 				if rapid.Bool().Draw(t, "for long") {
-					w.now += (cfg.Hold/cfg.Epoch + 1) * cfg.Epoch
+					w.now += (cfg.LeaseTimeout/cfg.Epoch + 1) * cfg.Epoch
 					sides = 2
 					for i := range n { // each side hears its own
-						r := w.report(i, 0, Use{Server: cold, Cold: true, Part: part})
+						r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: part})
 						for j, s := range w.states {
 							if i%2 == j%2 {
 								s.Merge(r)
@@ -83,20 +83,20 @@
 					}
 				}
 			}
-			half, _, _ := cfg.Half(w.now)
+			half, _, _ := cfg.Period(w.now)
 			budget := int(part*float64(n)) + sides // a fraction, rounded up on each side
 			spent := 0
 			for phase := range int64(2) {
 				used := make([]int, n)
 				for i, s := range w.states {
-					for _, d := range s.Deal(w.now) {
+					for _, d := range s.Allocate(w.now) {
 						used[i] = rapid.IntRange(0, d.Tokens).Draw(t, "used")
 						spent += used[i]
 					}
 				}
 				w.now += cfg.Epoch / 2
 				for i := range n {
-					r := w.report(i, half+phase, Use{Server: cold, Cold: true, Part: part, Spent: used[i]})
+					r := w.report(i, half+phase, Usage{Endpoint: cold, WarmingUp: true, Demand: part, Spent: used[i]})
 					for j, s := range w.states {
 						if (sides == 1 || i%2 == j%2) && rapid.Bool().Draw(t, "heard") {
 							s.Merge(r)
@@ -120,33 +120,33 @@
 		total int // of all members' tokens in a first half
 	}{
 		{"all there", func(*world) {}, 12},
-		{"one failed: it may be sending", func(w *world) { w.states[0].Saw(w.now, "n3", Failed) }, 12},
+		{"one failed: it may be sending", func(w *world) { w.states[0].SetMemberStatus(w.now, "n3", Failed) }, 12},
 		{"one left", func(w *world) {
 			for _, s := range w.states[:3] {
-				s.Saw(w.now, "n3", Left)
+				s.SetMemberStatus(w.now, "n3", Left)
 			}
 		}, 9},
 		{"one failed for long", func(w *world) {
 			for _, s := range w.states[:3] {
-				s.Saw(w.now-cfg.Hold, "n3", Failed)
+				s.SetMemberStatus(w.now-cfg.LeaseTimeout, "n3", Failed)
 			}
 		}, 9},
 		{"one says absurd things", func(w *world) {
-			r := w.report(3, 0, Use{Server: cold, Cold: true, Part: 1e6})
+			r := w.report(3, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: 1e6})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
 		}, 18}, // clamped to three times the median
 		{"one says what cannot be", func(w *world) {
 			for _, s := range w.states {
-				s.Merge(Report{Member: "n3", Boot: 2, Seq: 1, Uses: []Use{{Server: cold, Cold: true, Part: -1}}})
-				s.Merge(Report{Member: "stranger", Boot: 2, Seq: 1, Uses: []Use{{Server: cold, Cold: true, Part: 99}}})
+				s.Merge(Report{Member: "n3", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: cold, WarmingUp: true, Demand: -1}}})
+				s.Merge(Report{Member: "stranger", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: cold, WarmingUp: true, Demand: 99}}})
 			}
 		}, 12},
 	} {
 		w := newWorld(4, cfg)
 		for i := range 4 {
-			r := w.report(i, 0, Use{Server: cold, Cold: true, Part: 3})
+			r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: 3})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
@@ -154,11 +154,11 @@
 		tt.do(w)
 		total := 0
 		for _, s := range w.states[:3] {
-			for _, d := range s.Deal(w.now) {
+			for _, d := range s.Allocate(w.now) {
 				total += d.Tokens
 			}
 		}
-		if fourth := w.states[3].Deal(w.now); tt.total == 12 || tt.total == 18 {
+		if fourth := w.states[3].Allocate(w.now); tt.total == 12 || tt.total == 18 {
 			total += fourth[0].Tokens
 		}
 		if total != tt.total {
@@ -169,14 +169,14 @@
 
 func TestUnspentIsDealtAgain(t *testing.T) {
 	w := newWorld(3, cfg)
-	use := Use{Server: cold, Cold: true, Part: 4}
+	use := Usage{Endpoint: cold, WarmingUp: true, Demand: 4}
 	for i := range 3 {
 		r := w.report(i, 0, use)
 		for _, s := range w.states {
 			s.Merge(r)
 		}
 	}
-	half, _, end := cfg.Half(w.now)
+	half, _, end := cfg.Period(w.now)
 	w.now = end
 	for i, spent := range []int{4, 0, 0} {
 		use.Spent = spent
@@ -186,7 +186,7 @@
 		}
 	}
 	for i, want := range []int{2, 3, 1} { // of 8 left, and of 4 that the third knows of
-		if got := w.states[i].Deal(w.now)[0].Tokens; got < want || got > want+1 {
+		if got := w.states[i].Allocate(w.now)[0].Tokens; got < want || got > want+1 {
 			t.Errorf("member %d is dealt %d, want %d or one more", i, got, want)
 		}
 	}
@@ -198,10 +198,10 @@
 		var reports []Report
 		for range rapid.IntRange(1, 12).Draw(t, "reports") {
 			reports = append(reports, Report{Member: fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, "member")),
-				Boot: int64(rapid.IntRange(1, 2).Draw(t, "boot")), Seq: uint64(rapid.IntRange(1, 4).Draw(t, "seq"))})
+				Incarnation: int64(rapid.IntRange(1, 2).Draw(t, "boot")), Seq: uint64(rapid.IntRange(1, 4).Draw(t, "seq"))})
 		}
 		for i := range reports { // one number, one word
-			reports[i].Firsts = float64(reports[i].Boot)*10 + float64(reports[i].Seq)
+			reports[i].FirstAttempts = float64(reports[i].Incarnation)*10 + float64(reports[i].Seq)
 		}
 		a, b := newWorld(4, cfg).states[0], newWorld(4, cfg).states[0]
 		for _, r := range reports {
@@ -212,7 +212,7 @@
 		}
 		for name := range a.members {
 			x, y := a.members[name].report, b.members[name].report
-			if (x == nil) != (y == nil) || x != nil && x.Firsts != y.Firsts {
+			if (x == nil) != (y == nil) || x != nil && x.FirstAttempts != y.FirstAttempts {
 				t.Fatalf("%s: %v and %v", name, x, y)
 			}
 		}
--- a/internal/fleet/quota/state.go
+++ b/internal/fleet/quota/state.go
@@ -22,24 +22,24 @@
 	status Status
 	since  time.Duration
 	report *Report
-	uses   map[Server]Use
+	uses   map[Endpoint]Usage
 }
 
 // State is what one member knows of all. It is not safe for concurrent use.
 type State struct {
-	self    string
-	cfg     Config
-	members map[string]*member
-	Ignore  Guards
+	self           string
+	cfg            Config
+	members        map[string]*member
+	DisabledGuards Guards
 }
 
 // New returns the state of a member that knows nobody else.
-func New(self string, cfg Config) *State {
+func NewState(self string, cfg Config) *State {
 	return &State{self: self, cfg: cfg, members: map[string]*member{self: {}}}
 }
 
 // Saw takes news of a member's status.
-func (s *State) Saw(now time.Duration, name string, status Status) {
+func (s *State) SetMemberStatus(now time.Duration, name string, status Status) {
 	m := s.members[name]
 	if m == nil {
 		if status != Alive || len(s.members) >= mostMembers {
@@ -60,9 +60,9 @@
 	if m == nil || !r.sound() || m.report != nil && !r.newer(m.report) {
 		return false
 	}
-	m.report, m.uses = &r, make(map[Server]Use, len(r.Uses))
-	for _, u := range r.Uses {
-		m.uses[u.Server] = u
+	m.report, m.uses = &r, make(map[Endpoint]Usage, len(r.Usages))
+	for _, u := range r.Usages {
+		m.uses[u.Endpoint] = u
 	}
 	return true
 }
@@ -96,7 +96,7 @@
 }
 
 // Forget drops members that have left or been silent for longer than the hold.
-func (s *State) Forget(now time.Duration) {
+func (s *State) RemoveExpired(now time.Duration) {
 	for name, m := range s.members {
 		if name != s.self && !s.holds(now, m) {
 			delete(s.members, name)
@@ -110,7 +110,7 @@
 	case Left:
 		return false
 	case Failed:
-		return s.Ignore.Expire || now < m.since+s.cfg.Hold
+		return s.DisabledGuards.LeaseExpiry || now < m.since+s.cfg.LeaseTimeout
 	}
 	return true
 }
@@ -122,5 +122,5 @@
 
 // fresh tells whether a member's word counts as of late.
 func (s *State) fresh(now time.Duration, m *member) bool {
-	return m.report != nil && m.report.At <= now+s.cfg.Fresh && now-m.report.At < s.cfg.Fresh && m.status != Left
+	return m.report != nil && m.report.ReportedAt <= now+s.cfg.ReportTTL && now-m.report.ReportedAt < s.cfg.ReportTTL && m.status != Left
 }
--- a/internal/fleet/quota/verdicts.go
+++ b/internal/fleet/quota/verdicts.go
@@ -16,36 +16,36 @@
 // Shunned are the next hops that enough members have seen fail of late: half of those who
 // have asked them, and two at least. One member's word, true or not, is never enough; and
 // however many accuse, only a share of all next hops is shunned, the most accused first.
-func (s *State) Shunned(now time.Duration) []Server {
-	asked, accused := map[Server]int{}, map[Server]int{}
+func (s *State) Outliers(now time.Duration) []Endpoint {
+	asked, accused := map[Endpoint]int{}, map[Endpoint]int{}
 	for _, m := range s.members {
 		if !s.fresh(now, m) {
 			continue
 		}
 		for server, u := range m.uses {
-			if u.Asked > 0 {
+			if u.Attempts > 0 {
 				asked[server]++
-				if u.Failed >= seen && 2*u.Failed >= u.Asked {
+				if u.FailedAttempts >= seen && 2*u.FailedAttempts >= u.Attempts {
 					accused[server]++
 				}
 			}
 		}
 	}
 	least := leastAccusers
-	if s.Ignore.Quorum {
+	if s.DisabledGuards.Quorum {
 		least = 1
 	}
-	var bad []Server
+	var bad []Endpoint
 	for server, n := range accused {
-		if n >= least && (2*n >= asked[server] || s.Ignore.Quorum) {
+		if n >= least && (2*n >= asked[server] || s.DisabledGuards.Quorum) {
 			bad = append(bad, server)
 		}
 	}
-	slices.SortFunc(bad, func(a, b Server) int {
-		return cmp.Or(cmp.Compare(accused[b], accused[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started))
+	slices.SortFunc(bad, func(a, b Endpoint) int {
+		return cmp.Or(cmp.Compare(accused[b], accused[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
-	if s.Ignore.Quorum {
+	if s.DisabledGuards.Quorum {
 		return bad
 	}
-	return bad[:min(len(bad), int(s.cfg.Shun*float64(len(asked))))]
+	return bad[:min(len(bad), int(s.cfg.MaxOutlierFraction*float64(len(asked))))]
 }
--- a/internal/fleet/quota/verdicts_test.go
+++ b/internal/fleet/quota/verdicts_test.go
@@ -10,9 +10,9 @@
 )
 
 func TestVerdicts(t *testing.T) {
-	bad := func(id string) Use { return Use{Server: Server{ID: id}, Asked: 4, Failed: 3} }
-	good := func(id string) Use { return Use{Server: Server{ID: id}, Asked: 4} }
-	everyone := func(f func(string) Use) (all []Use) {
+	bad := func(id string) Usage { return Usage{Endpoint: Endpoint{ID: id}, Attempts: 4, FailedAttempts: 3} }
+	good := func(id string) Usage { return Usage{Endpoint: Endpoint{ID: id}, Attempts: 4} }
+	everyone := func(f func(string) Usage) (all []Usage) {
 		for i := range 8 {
 			all = append(all, f(fmt.Sprint("s", i)))
 		}
@@ -20,23 +20,23 @@
 	}
 	for _, tt := range []struct {
 		name string
-		said [][]Use // by member
+		said [][]Usage // by member
 		late time.Duration
 		want []string
 	}{
-		{"two of three saw it", [][]Use{append(everyone(good), bad("s1")), append(everyone(good), bad("s1")), everyone(good)}, 0, []string{"s1"}},
-		{"one liar accuses all", [][]Use{everyone(bad), everyone(good), everyone(good)}, 0, nil},
-		{"two liars of five", [][]Use{everyone(bad), everyone(bad), everyone(good), everyone(good), everyone(good)}, 0, nil},
-		{"all fail: no more than a quarter is shunned", [][]Use{everyone(bad), everyone(bad), everyone(bad)}, 0, []string{"s0", "s1"}},
-		{"long ago", [][]Use{append(everyone(good), bad("s1")), append(everyone(good), bad("s1"))}, cfg.Fresh, nil},
-		{"a fault now and then", [][]Use{{{Server: Server{ID: "s1"}, Asked: 9, Failed: 1}}, {{Server: Server{ID: "s1"}, Asked: 9, Failed: 1}}}, 0, nil},
+		{"two of three saw it", [][]Usage{append(everyone(good), bad("s1")), append(everyone(good), bad("s1")), everyone(good)}, 0, []string{"s1"}},
+		{"one liar accuses all", [][]Usage{everyone(bad), everyone(good), everyone(good)}, 0, nil},
+		{"two liars of five", [][]Usage{everyone(bad), everyone(bad), everyone(good), everyone(good), everyone(good)}, 0, nil},
+		{"all fail: no more than a quarter is shunned", [][]Usage{everyone(bad), everyone(bad), everyone(bad)}, 0, []string{"s0", "s1"}},
+		{"long ago", [][]Usage{append(everyone(good), bad("s1")), append(everyone(good), bad("s1"))}, cfg.ReportTTL, nil},
+		{"a fault now and then", [][]Usage{{{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}, {{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}}, 0, nil},
 	} {
 		w := newWorld(len(tt.said), cfg)
 		for i, uses := range tt.said {
 			w.states[0].Merge(w.report(i, 0, uses...))
 		}
 		var got []string
-		for _, s := range w.states[0].Shunned(w.now + tt.late) {
+		for _, s := range w.states[0].Outliers(w.now + tt.late) {
 			got = append(got, s.ID)
 		}
 		if !slices.Equal(got, tt.want) {
@@ -59,7 +59,7 @@
 		}
 		tell := func(i int) Report {
 			w.seq++
-			return Report{Member: w.names[i], Boot: 1, Seq: w.seq, At: w.now, Firsts: firsts[i], Retries: retries[i]}
+			return Report{Member: w.names[i], Incarnation: 1, Seq: w.seq, ReportedAt: w.now, FirstAttempts: firsts[i], Retries: retries[i]}
 		}
 		for range 20 {
 			for i, s := range w.states {
@@ -70,14 +70,14 @@
 						other.Merge(r)
 					}
 				}
-				retries[i] += s.Retries(w.now) * rapid.Float64Range(0, 1).Draw(t, "used")
+				retries[i] += s.RetryBudget(w.now) * rapid.Float64Range(0, 1).Draw(t, "used")
 			}
 		}
 		sum := 0.0
 		for _, r := range retries {
 			sum += r
 		}
-		if sum > 2*cfg.Retries*all+1e-6 {
+		if sum > 2*cfg.RetryRatio*all+1e-6 {
 			t.Fatalf("%.2f retries for %.2f first tries", sum, all)
 		}
 	})
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return err
 		}
-		a := gossip.NewAgent(name, quota.Config{Epoch: fleetWindow, Hold: fleetHold, Fresh: 3 * time.Second, Shun: 0.25}, quota.Guards{},
+		a := gossip.NewAgent(name, quota.Config{Epoch: fleetWindow, LeaseTimeout: fleetHold, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}, quota.Guards{},
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
