--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -151,7 +151,7 @@
 // taker keeps what is handed over.
 type taker chan [2]net.Conn
 
-func (k taker) Adopt(_ proxy.Standing, caller, hop net.Conn) bool {
+func (k taker) Adopt(_ proxy.EstablishedSession, caller, hop net.Conn) bool {
 	k <- [2]net.Conn{caller, hop}
 	return true
 }
@@ -212,7 +212,7 @@
 	for _, end := range ends { // what the taker has is its own doing
 		end.(*net.TCPConn).SetNoDelay(false)
 	}
-	if !g.Take(proxy.Standing{}, ends[0], ends[1]) {
+	if !g.Take(proxy.EstablishedSession{}, ends[0], ends[1]) {
 		t.Fatal("not taken")
 	}
 	for i, conn := range <-to {
--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -18,7 +18,7 @@
 
 // Decider takes transactions; each is then owed one final answer. *decide.Core does.
 type Decider interface {
-	proxy.Watcher
+	proxy.Observer
 	Submit(item dispatch.Placement, b dispatch.AttemptStarter)
 	Adopt(item dispatch.Placement, server string) bool // of one that stands there already
 }
@@ -26,7 +26,7 @@
 // Continuities gives a caller that asks for it what lets it go on where it was
 // when it is moved; nil if nothing does.
 type Continuities interface {
-	Continuity(o *lineproto.ConnectRequest) proxy.Continuity
+	Continuity(o *lineproto.ConnectRequest) proxy.Resumption
 }
 
 // Limits bound what callers may use.
@@ -54,14 +54,14 @@
 	freed    chan struct{} // a leg has ended: there may be room for another
 
 	mu       sync.Mutex
-	accepts  bool                        // Serve runs
-	leaving  bool                        // the node is being emptied
-	ended    bool                        // for good: nothing is taken any more
-	over     bool                        // and newcomers are seen off unread
-	refuseAt time.Time                   // while it is emptied: newcomers get the busy answer from then on
-	end      time.Time                   // of the plan by which it is emptied for good
-	rejoined func()                      // ends the emptying that can be ended; nil without one
-	running  map[*proxy.Transaction]bool // whether the decider has it
+	accepts  bool                    // Serve runs
+	leaving  bool                    // the node is being emptied
+	ended    bool                    // for good: nothing is taken any more
+	over     bool                    // and newcomers are seen off unread
+	refuseAt time.Time               // while it is emptied: newcomers get the busy answer from then on
+	end      time.Time               // of the plan by which it is emptied for good
+	rejoined func()                  // ends the emptying that can be ended; nil without one
+	running  map[*proxy.Session]bool // whether the decider has it
 	legs     map[net.Conn]struct{}
 	resting  list.List // of *visitor: have not opened anything, the oldest first
 	parting  list.List // of *visitor: have their last answer and are read out, the oldest first
@@ -71,7 +71,7 @@
 
 // New returns a Server that keeps to the limits.
 func New(d Decider, b dispatch.AttemptStarter, l Limits) *Server {
-	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Transaction]bool{},
+	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Session]bool{},
 		legs: map[net.Conn]struct{}{}, freed: make(chan struct{}, 1)}
 	s.SetPause(l.Pause)
 	return s
@@ -103,9 +103,9 @@
 
 // Adopt goes on with what another process has handed over. If it is false the
 // connections stay the giver's.
-func (s *Server) Adopt(st proxy.Standing, caller, hop net.Conn) bool {
+func (s *Server) Adopt(st proxy.EstablishedSession, caller, hop net.Conn) bool {
 	t := proxy.Inherit(st, lineproto.Codec{}, s.decider, caller, hop)
-	t.Figures = s.Figures.Class(st.Class)
+	t.Metrics = s.Figures.Class(st.Class)
 	s.mu.Lock()
 	ended := s.ended
 	if !ended {
--- a/internal/downstream/caller_test.go
+++ b/internal/downstream/caller_test.go
@@ -14,10 +14,10 @@
 )
 
 // decider keeps what is submitted, and refuses it.
-type decider chan *proxy.Transaction
+type decider chan *proxy.Session
 
 func (d decider) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
-	d <- item.(*proxy.Transaction)
+	d <- item.(*proxy.Session)
 	item.Reject(0)
 }
 
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -26,7 +26,7 @@
 	End time.Time
 	// Heir is a process that goes on with what stands, and with what comes up later, in
 	// place of all moves; nil if there is none.
-	Heir proxy.Heir
+	Heir proxy.Successor
 }
 
 // Leave has the node emptied for good: what comes on callers' connections from then on gets
@@ -94,7 +94,7 @@
 		n := len(standing)
 		if p.Heir != nil {
 			for _, t := range standing {
-				t.Yield(p.Heir)
+				t.HandOver(p.Heir)
 			}
 			n = 0
 		} else if now.Before(p.From) {
@@ -122,7 +122,7 @@
 
 // move asks connections to go, unless the emptying has ended: under the lock, so that
 // none goes after Rejoin has returned.
-func (s *Server) move(ctx context.Context, standing []*proxy.Transaction) {
+func (s *Server) move(ctx context.Context, standing []*proxy.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
@@ -136,7 +136,7 @@
 // lastCall has all who rest seen off, as are those who come from now on, and gives up what
 // is not answered yet.
 func (s *Server) lastCall() {
-	var left []*proxy.Transaction
+	var left []*proxy.Session
 	s.mu.Lock()
 	s.over = true
 	for e := s.resting.Front(); e != nil; e = s.resting.Front() {
@@ -156,11 +156,11 @@
 // standing lists the connections that stand and were not told to move, and counts the
 // callers that have not opened anything and all other legs: also those that have their last
 // answer and are read out.
-func (s *Server) standing() (list []*proxy.Transaction, resting, others int) {
+func (s *Server) standing() (list []*proxy.Session, resting, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for t := range s.running {
-		if t.Standing() {
+		if t.IsEstablished() {
 			list = append(list, t)
 		}
 	}
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -18,17 +18,17 @@
 
 // parked takes transactions and answers none. What it is told it keeps, in order.
 type parked struct {
-	taken  chan *proxy.Transaction
+	taken  chan *proxy.Session
 	events chan string
 	may    chan struct{} // Submit waits for it; nil for nothing
 }
 
 func newParked() *parked {
-	return &parked{taken: make(chan *proxy.Transaction, 64), events: make(chan string, 64)}
+	return &parked{taken: make(chan *proxy.Session, 64), events: make(chan string, 64)}
 }
 
 func (p *parked) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
-	p.taken <- item.(*proxy.Transaction)
+	p.taken <- item.(*proxy.Session)
 	if p.may != nil {
 		<-p.may
 	}
@@ -75,7 +75,7 @@
 	}
 	stands := come("OPEN stands k c=feed,d=900\r\n")
 	hopNear, hop := pair(t)
-	if up := <-p.taken; !up.Up("UP r1", "s1", bufconn.New(hopNear)) {
+	if up := <-p.taken; !up.Establish("UP r1", "s1", bufconn.New(hopNear)) {
 		t.Fatal("not up")
 	}
 	if text, _ := bufio.NewReader(stands).ReadString('\n'); text != "UP r1\r\n" {
@@ -143,7 +143,7 @@
 			if stands {
 				far := come("OPEN stands k c=feed,d=900\r\n")
 				near, hop := net.Pipe()
-				(<-p.taken).Up("UP r1", "s1", bufconn.New(near))
+				(<-p.taken).Establish("UP r1", "s1", bufconn.New(near))
 				lines := bufio.NewReader(far)
 				_, _ = lines.ReadString('\n')
 				stop = func() { _, _ = io.ReadAll(lines); far.Close(); hop.Close() }
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -79,15 +79,15 @@
 	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, CurrentServer: o.Endpoint,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Returned, Deadline: time.Now().Add(min(o.Patience, longestWait) - margin)},
 		&o, lineproto.Codec{}, s.decider, l)
-	t.Figures = s.Figures.Class(o.Class)
+	t.Metrics = s.Figures.Class(o.Class)
 	if !s.admit(t, v) {
 		if s.seeOff(v, l, s.busy()) == nil {
-			t.Figures.Rejected()
+			t.Metrics.Rejected()
 		}
 		return
 	}
 	if s.Continuities != nil && o.ResumeToken != "" {
-		t.Continuity = s.Continuities.Continuity(&o)
+		t.Resumption = s.Continuities.Continuity(&o)
 	}
 	s.decider.Submit(t, s.branches)
 	s.submitted(t)
@@ -98,7 +98,7 @@
 }
 
 // submitted notes that the decider has t, which may be given up from now on.
-func (s *Server) submitted(t *proxy.Transaction) {
+func (s *Server) submitted(t *proxy.Session) {
 	s.mu.Lock()
 	s.running[t] = true
 	over := s.over
--- a/internal/downstream/room.go
+++ b/internal/downstream/room.go
@@ -96,7 +96,7 @@
 
 // admit tells whether t, which v has opened, may be served. While the node is emptied
 // nobody may, but for who is still sent here because the news is not out.
-func (s *Server) admit(t *proxy.Transaction, v *visitor) bool {
+func (s *Server) admit(t *proxy.Session, v *visitor) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !v.since.IsZero() || s.leaving && !time.Now().Before(s.refuseAt) {
--- a/internal/hotrestart/commit_test.go
+++ b/internal/hotrestart/commit_test.go
@@ -32,7 +32,7 @@
 	dir, old, next := t.TempDir(), newNode(t), newNode(t)
 	serve(t, dir, next)
 	x, client, feed, finished := old.stands(t)
-	x.Yield(give(t, dir))
+	x.HandOver(give(t, dir))
 	wait(t, next.asked)
 	ends(t, client, "MOVE\r\n") // while the taker is at it
 	wait(t, finished)
@@ -45,7 +45,7 @@
 }
 
 // offered is what a giver offers by hand, and where it does.
-func offered(t *testing.T, dir string, s proxy.Standing) (conn *net.UnixConn, caller, client, hop, feed net.Conn) {
+func offered(t *testing.T, dir string, s proxy.EstablishedSession) (conn *net.UnixConn, caller, client, hop, feed net.Conn) {
 	t.Helper()
 	conn = give(t, dir).conn
 	conn.SetDeadline(time.Now().Add(patience))
@@ -75,8 +75,8 @@
 			dir, next := t.TempDir(), newNode(t)
 			serve(t, dir, next)
 			close(next.may)
-			conn, caller, client, hop, feed := offered(t, dir, proxy.Standing{Server: "s1",
-				FromCaller: []byte("are"), FromHop: []byte("LOA")})
+			conn, caller, client, hop, feed := offered(t, dir, proxy.EstablishedSession{Server: "s1",
+				FromClient: []byte("are"), FromUpstream: []byte("LOA")})
 			wait(t, next.asked)
 			reads(t, conn, prepared)
 			fmt.Fprint(client, " you there\r\n")
@@ -116,7 +116,7 @@
 	dir, next := t.TempDir(), newNode(t)
 	stop := serve(t, dir, next)
 	close(next.may)
-	conn, caller, client, hop, feed := offered(t, dir, proxy.Standing{Server: "s1"})
+	conn, caller, client, hop, feed := offered(t, dir, proxy.EstablishedSession{Server: "s1"})
 	wait(t, next.asked)
 	reads(t, conn, prepared)
 	stop()
@@ -199,7 +199,7 @@
 		_, _ = conn.Write([]byte(prepared))
 	}()
 	x, client, feed, finished := old.stands(t)
-	x.Yield(give(t, dir))
+	x.HandOver(give(t, dir))
 	ends(t, client, "MOVE\r\n")
 	ends(t, feed, "")
 	wait(t, finished)
--- a/internal/hotrestart/giver.go
+++ b/internal/hotrestart/giver.go
@@ -36,7 +36,7 @@
 // Take hands one connection over, within a time that its wait for others counts in. The
 // transaction closes its copies then. If it is false, the taker has neither read nor
 // written anything, and never will.
-func (g *Sender) Take(s proxy.Standing, caller, hop net.Conn) bool {
+func (g *Sender) Take(s proxy.EstablishedSession, caller, hop net.Conn) bool {
 	text, err := json.Marshal(s)
 	if err != nil || len(text) > largest {
 		return false
--- a/internal/hotrestart/giver_test.go
+++ b/internal/hotrestart/giver_test.go
@@ -34,9 +34,9 @@
 			caller, client := pair(t)
 			hop, feed := pair(t)
 			_ = caller.(*net.TCPConn).SetNoDelay(false) // whatever it was set to
-			s := proxy.Standing{Request: proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
-				Deadline: time.Now()}, Server: "s1", FromCaller: []byte(strings.Repeat("\xff", bufconn.BufferSize)),
-				FromHop: []byte(strings.Repeat("\x00", bufconn.BufferSize)), Pending: time.Now()}
+			s := proxy.EstablishedSession{Request: proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
+				Deadline: time.Now()}, Server: "s1", FromClient: []byte(strings.Repeat("\xff", bufconn.BufferSize)),
+				FromUpstream: []byte(strings.Repeat("\x00", bufconn.BufferSize)), PendingSince: time.Now()}
 			if !g.Take(s, caller, hop) {
 				t.Fatalf("connection %d was not taken", i)
 			}
@@ -50,8 +50,8 @@
 					t.Errorf("TCP_NODELAY is %d, %v", v, err)
 				}
 			}
-			if got.ID != s.ID || got.Server != "s1" || string(got.FromCaller) != string(s.FromCaller) ||
-				string(got.FromHop) != string(s.FromHop) || !got.Deadline.Equal(s.Deadline) || !got.Pending.Equal(s.Pending) || got.Hint != 2 {
+			if got.ID != s.ID || got.Server != "s1" || string(got.FromClient) != string(s.FromClient) ||
+				string(got.FromUpstream) != string(s.FromUpstream) || !got.Deadline.Equal(s.Deadline) || !got.PendingSince.Equal(s.PendingSince) || got.Hint != 2 {
 				t.Errorf("got %+v", got)
 			}
 			caller2.Close()
@@ -75,7 +75,7 @@
 	g.SendLearnedState(balance.LearnedState{MeanLoad: 0.25, LoadSamples: 1}) // of no fleet
 	caller, _ := pair(t)
 	hop, _ := pair(t)
-	if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
+	if !g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
 		t.Error("a connection was not taken after it")
 	}
 	k.mu.Lock()
@@ -131,7 +131,7 @@
 			for range 3 { // only the first may cost time
 				caller, client := pair(t)
 				hop, feed := pair(t)
-				if g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
+				if g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
 					t.Fatal("taken")
 				}
 				works(t, caller, client)
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -17,13 +17,13 @@
 type taker struct {
 	mu      sync.Mutex
 	wants   bool
-	given   []proxy.Standing
+	given   []proxy.EstablishedSession
 	caller  []net.Conn
 	hop     []net.Conn
 	learned []balance.LearnedState
 }
 
-func (k *taker) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
+func (k *taker) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.wants {
@@ -47,7 +47,7 @@
 	}
 }
 
-func (k *taker) last() (s proxy.Standing, caller, hop net.Conn) {
+func (k *taker) last() (s proxy.EstablishedSession, caller, hop net.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	n := len(k.given) - 1
--- a/internal/hotrestart/limits_test.go
+++ b/internal/hotrestart/limits_test.go
@@ -22,7 +22,7 @@
 // dawdler takes everything, and more than a third of the time for it each.
 type dawdler struct{ taker }
 
-func (d *dawdler) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
+func (d *dawdler) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
 	time.Sleep(within * 2 / 5)
 	return d.taker.Adopt(s, caller, hop)
 }
@@ -45,7 +45,7 @@
 		caller, client := pair(t)
 		hop, feed := pair(t)
 		all.Go(func() {
-			if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
+			if !g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
 				works(t, caller, client)
 				works(t, hop, feed)
 			}
@@ -128,7 +128,7 @@
 	free := fill(t)
 	for left := range 4 {
 		before := count()
-		if took := g.Take(proxy.Standing{Server: "s1"}, caller, hop); took != (left >= 3) {
+		if took := g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop); took != (left >= 3) {
 			t.Errorf("%d left: taken %v", left, took)
 		}
 		if after := count(); left < 3 && after != before {
@@ -192,7 +192,7 @@
 		}
 	}
 	free(8)
-	if !g.Take(proxy.Standing{Server: "s1"}, caller, hop) {
+	if !g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
 		t.Error("what stands was not taken")
 	}
 }
--- a/internal/hotrestart/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -23,7 +23,7 @@
 func (n *node) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { n.ended <- o }
 func (n *node) Learn(balance.LearnedState)                             {}
 
-func (n *node) Adopt(s proxy.Standing, caller, hop net.Conn) bool {
+func (n *node) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
 	n.asked <- struct{}{}
 	<-n.may
 	n.runs.Go(proxy.Inherit(s, lineproto.Codec{}, n, caller, hop).Run)
@@ -31,14 +31,14 @@
 }
 
 // stands brings a connection up, and returns it with its far ends.
-func (n *node) stands(t *testing.T) (x *proxy.Transaction, client, feed net.Conn, finished <-chan struct{}) {
+func (n *node) stands(t *testing.T) (x *proxy.Session, client, feed net.Conn, finished <-chan struct{}) {
 	t.Helper()
 	caller, client := pair(t)
 	hop, feed := pair(t)
 	x = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Codec{}, n, bufconn.New(caller))
 	done := make(chan struct{})
 	go func() { defer close(done); x.Run() }()
-	if !x.Up("UP r1", "s1", bufconn.New(hop)) {
+	if !x.Establish("UP r1", "s1", bufconn.New(hop)) {
 		t.Fatal("Up was not taken")
 	}
 	for _, c := range []net.Conn{client, feed} {
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -24,11 +24,11 @@
 
 // storedStanding is what standing.json holds, and storedMemory what lesson.json does.
 var (
-	storedStanding = proxy.Standing{
+	storedStanding = proxy.EstablishedSession{
 		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
 			Bound: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
-		Server: "s3", FromCaller: []byte("are"), FromHop: []byte("LOA"), Pending: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
+		Server: "s3", FromClient: []byte("are"), FromUpstream: []byte("LOA"), PendingSince: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
 	storedMemory = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
 		MeanHint: 0.25, HintSamples: 5, Servers: []balance.LearnedServer{
 			{ID: "s1", StartedAt: time.Hour, Load: 0.75, LoadPerConnection: 0.0625, PlacedLoad: 6, Faults: 7, RecentAttempts: 8}}}
@@ -142,7 +142,7 @@
 		}
 	}
 	standing, _, _ := k.last()
-	standing.Hold = nil
+	standing.Gate = nil
 	if !reflect.DeepEqual(standing, storedStanding) {
 		t.Errorf("read %+v\nwant %+v", standing, storedStanding)
 	}
@@ -151,7 +151,7 @@
 	if len(k.learned) != 1 || !reflect.DeepEqual(k.learned[0], storedMemory) {
 		t.Errorf("learned %+v\nwant %+v", k.learned, storedMemory)
 	}
-	var again proxy.Standing // in the stored message both are true
+	var again proxy.EstablishedSession // in the stored message both are true
 	if err := json.Unmarshal([]byte(`{"Retry":true}`), &again); err != nil || !again.Retry || again.Returned {
 		t.Errorf("read %+v, %v", again, err)
 	}
--- a/internal/hotrestart/taker.go
+++ b/internal/hotrestart/taker.go
@@ -25,7 +25,7 @@
 // one that its giver still holds: nothing is read or written before s.Hold is committed.
 // If it is false, the connections are the caller's to close.
 type Receiver interface {
-	Adopt(s proxy.Standing, caller, hop net.Conn) bool
+	Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool
 	Learn(m balance.LearnedState)
 }
 
@@ -153,7 +153,7 @@
 }
 
 // prepare has one connection adopted, and held until the giver has let go of it.
-func prepare(message, rights []byte, whole bool, to Receiver) (*proxy.Hold, error) {
+func prepare(message, rights []byte, whole bool, to Receiver) (*proxy.CommitGate, error) {
 	conns, err := received(rights)
 	if err == nil && !whole {
 		err = errors.New("a message came cut off")
@@ -161,14 +161,14 @@
 	if err == nil && len(conns) != 2 {
 		err = fmt.Errorf("%d connections in a message, want 2", len(conns))
 	}
-	var s proxy.Standing
+	var s proxy.EstablishedSession
 	if err == nil {
 		err = json.Unmarshal(message, &s)
 	}
-	if err == nil && max(len(s.FromCaller), len(s.FromHop)) > bufconn.BufferSize {
+	if err == nil && max(len(s.FromClient), len(s.FromUpstream)) > bufconn.BufferSize {
 		err = errors.New("more was read than a buffer holds")
 	}
-	s.Hold = proxy.NewHold()
+	s.Gate = proxy.NewCommitGate()
 	if err == nil && !to.Adopt(s, conns[0], conns[1]) {
 		err = fmt.Errorf("%s: its id is in use, or this process ends too", s.ID)
 	}
@@ -178,7 +178,7 @@
 		}
 		return nil, err
 	}
-	return s.Hold, nil
+	return s.Gate, nil
 }
 
 // received returns the connections that came with a message.
--- a/internal/lineproto/front.go
+++ b/internal/lineproto/front.go
@@ -27,17 +27,17 @@
 func (Codec) Move() string { return Move }
 
 // Notice tells what a next hop's line after UP says.
-func (Codec) Notice(text []byte) proxy.Notice {
+func (Codec) Classify(text []byte) proxy.LineKind {
 	text = bytes.TrimRight(text, "\r\n")
 	switch {
 	case bytes.HasPrefix(text, []byte("LOAD ")):
 		if _, err := number(string(text[len("LOAD "):])); err == nil {
-			return proxy.NoticeLoad
+			return proxy.LineLoadReport
 		}
 	case bytes.Equal(text, []byte(Move)):
-		return proxy.NoticeMove
+		return proxy.LineMove
 	case bytes.Equal(text, []byte("BYE")), bytes.HasPrefix(text, []byte("BYE ")):
-		return proxy.NoticeBye
+		return proxy.LineBye
 	}
-	return proxy.NoticeOther
+	return proxy.LineOther
 }
--- a/internal/lineproto/line.go
+++ b/internal/lineproto/line.go
@@ -131,7 +131,7 @@
 
 // Forward returns the line for a next hop: as it came, but for d, which tells
 // the time that is left.
-func (o *ConnectRequest) Forward(now, deadline time.Time) string {
+func (o *ConnectRequest) ForwardLine(now, deadline time.Time) string {
 	left := max(deadline.Sub(now).Milliseconds(), 0)
 	return o.head + strconv.FormatInt(left, 10) + o.tail
 }
--- a/internal/lineproto/line_test.go
+++ b/internal/lineproto/line_test.go
@@ -65,10 +65,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := o.Forward(now, now.Add(1500*time.Millisecond)); got != tt.want {
+		if got := o.ForwardLine(now, now.Add(1500*time.Millisecond)); got != tt.want {
 			t.Errorf("got %q, want %q", got, tt.want)
 		}
-		if got := o.Forward(now, now.Add(-time.Second)); !strings.Contains(got, "d=0") {
+		if got := o.ForwardLine(now, now.Add(-time.Second)); !strings.Contains(got, "d=0") {
 			t.Errorf("after its deadline: %q", got)
 		}
 	}
@@ -127,15 +127,15 @@
 func TestNotice(t *testing.T) {
 	tests := []struct {
 		line string
-		want proxy.Notice
+		want proxy.LineKind
 	}{
-		{"LOAD 9407.5\r\n", proxy.NoticeLoad}, {"LOAD much\r\n", proxy.NoticeOther},
-		{"MOVE\r\n", proxy.NoticeMove}, {"BYE\r\n", proxy.NoticeBye},
-		{"BYE inflight=7\r\n", proxy.NoticeBye}, {"BYEBYE\r\n", proxy.NoticeOther},
-		{"price 7\r\n", proxy.NoticeOther},
+		{"LOAD 9407.5\r\n", proxy.LineLoadReport}, {"LOAD much\r\n", proxy.LineOther},
+		{"MOVE\r\n", proxy.LineMove}, {"BYE\r\n", proxy.LineBye},
+		{"BYE inflight=7\r\n", proxy.LineBye}, {"BYEBYE\r\n", proxy.LineOther},
+		{"price 7\r\n", proxy.LineOther},
 	}
 	for _, tt := range tests {
-		if got := (Codec{}).Notice([]byte(tt.line)); got != tt.want {
+		if got := (Codec{}).Classify([]byte(tt.line)); got != tt.want {
 			t.Errorf("%q: got %d, want %d", tt.line, got, tt.want)
 		}
 	}
--- a/internal/lineproto/stream_test.go
+++ b/internal/lineproto/stream_test.go
@@ -69,7 +69,7 @@
 			t.Fatal(err)
 		}
 		o.StripResumption()
-		if got := o.Forward(now, now.Add(9*time.Millisecond)); got != c.want {
+		if got := o.ForwardLine(now, now.Add(9*time.Millisecond)); got != c.want {
 			t.Errorf("%q became %q, want %q", c.line, got, c.want)
 		}
 	}
@@ -87,7 +87,7 @@
 		token := o.ResumeToken
 		o.StripResumption()
 		now := time.Now()
-		again, err := ParseConnectRequest([]byte(o.Forward(now, now.Add(time.Second))))
+		again, err := ParseConnectRequest([]byte(o.ForwardLine(now, now.Add(time.Second))))
 		if err != nil {
 			t.Fatalf("%q was read, and what goes on is not: %v", s, err)
 		}
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -11,7 +11,7 @@
 // There is one final answer, whoever is first.
 func TestOneFinalAnswer(t *testing.T) {
 	b := start(t)
-	if !b.t.Reject(250*time.Millisecond) || b.t.Fail() || b.t.Up("UP r1", "s1", b.hopLeg) {
+	if !b.t.Reject(250*time.Millisecond) || b.t.Fail() || b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Error("not exactly the first answer was taken")
 	}
 	b.expect(t, b.fromNode, "BUSY 250\r\n")
@@ -29,7 +29,7 @@
 	b.caller.Close()
 	wait(t, b.gone)
 	wait(t, b.t.Context().Done())
-	if b.t.Up("UP r1", "s1", b.hopLeg) {
+	if b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Error("an UP was taken for a caller that has left")
 	}
 	wait(t, b.finished)
@@ -43,7 +43,7 @@
 	b.expect(t, b.fromNode, "ERR\r\n")
 	wait(t, b.gone)
 	wait(t, b.t.Context().Done())
-	if b.t.Up("UP r1", "s1", b.hopLeg) {
+	if b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Error("an UP was taken for a caller that was turned away")
 	}
 	wait(t, b.finished)
--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -106,7 +106,7 @@
 	near, caller := pair(t)
 	hopNear, hop := pair(t)
 	b := newBench(near, caller, hopNear, hop)
-	if !b.t.Up("UP r1", "s1", b.hopLeg) {
+	if !b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Fatal("Up was not taken")
 	}
 	b.t.Migrate()
@@ -129,7 +129,7 @@
 	b.expect(t, b.fromNode, "ERR\r\n")
 	wait(t, b.gone)
 	wait(t, b.t.Context().Done())
-	if b.t.Up("UP r1", "s1", b.hopLeg) {
+	if b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Error("an UP was taken for one that was given up")
 	}
 	b.t.GiveUp() // told a second time, the watcher's channel would be closed twice
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -18,61 +18,61 @@
 type Request = dispatch.Request
 
 // Opening words the first line for a next hop.
-type Opening interface {
-	Forward(now, deadline time.Time) string
+type RequestEncoder interface {
+	ForwardLine(now, deadline time.Time) string
 }
 
 // Notice is what a next hop's line after UP says.
-type Notice int
+type LineKind int
 
 // The notices.
 const (
-	NoticeOther Notice = iota
-	NoticeLoad
-	NoticeMove
-	NoticeBye
+	LineOther LineKind = iota
+	LineLoadReport
+	LineMove
+	LineBye
 )
 
 // Front words what the exchange says to its caller, and reads what passes.
-type Front interface {
+type Codec interface {
 	Busy(pause time.Duration) string
 	Failed() string
 	Move() string
-	Notice(line []byte) Notice
+	Classify(line []byte) LineKind
 }
 
 // Continuity lets a caller that is moved go on where it was. A transaction whose
 // caller did not ask for it has none.
-type Continuity interface {
+type Resumption interface {
 	// Begin returns the line that starts the stream at a next hop which answered
 	// with up; empty if it takes none. It may wait, but not beyond ctx.
-	Begin(ctx context.Context, up string) string
+	StartLine(ctx context.Context, up string) string
 	// Passed is told each line of the next hop, before the caller is sent it.
-	Passed(line []byte)
+	Observe(line []byte)
 	// Ticket returns what the caller is to bring along; empty if nothing. All that
 	// was passed has been written, or will be before it.
-	Ticket() string
+	Token() string
 }
 
 // End is how a connection that stood has ended.
-type End int
+type EndReason int
 
 // The ends.
 const (
-	Served     End = iota // the next hop said so
-	Moved                 // the caller was asked to come again, by either of us
-	Broken                // the next hop broke it off
-	Silent                // the next hop stopped answering, or says what is no line
-	CallerLeft            // the caller ended it
-	HandedOver            // another process goes on with it
+	EndServed         EndReason = iota // the next hop said so
+	EndMoved                           // the caller was asked to come again, by either of us
+	EndUpstreamClosed                  // the next hop broke it off
+	EndUpstreamSilent                  // the next hop stopped answering, or says what is no line
+	EndClientClosed                    // the caller ended it
+	EndHandedOver                      // another process goes on with it
 )
 
 // outcome is what the module is told of it.
-func (e End) outcome() balance.Outcome {
+func (e EndReason) outcome() balance.Outcome {
 	switch e {
-	case Served:
+	case EndServed:
 		return balance.OK
-	case Broken, Silent:
+	case EndUpstreamClosed, EndUpstreamSilent:
 		return balance.Reset
 	}
 	return balance.Cancelled
@@ -80,7 +80,7 @@
 
 // Watcher is told what becomes of a transaction, as decide.Core has it. Its methods
 // must not wait for the transaction.
-type Watcher interface {
+type Observer interface {
 	ClientGone(item dispatch.Placement)                              // while it waited for its answer, or was turned away meanwhile
 	PlacementEnded(item dispatch.Placement, outcome balance.Outcome) // after UP; nothing passes any more
 }
@@ -94,14 +94,14 @@
 }
 
 // Transaction is one request and the connection it becomes.
-type Transaction struct {
+type Session struct {
 	Request
-	Opening
-	Continuity                // nil if its caller did not ask for it
-	Figures    *metrics.Class // counts its answer as written; nil if nobody asks
+	RequestEncoder
+	Resumption                // nil if its caller did not ask for it
+	Metrics    *metrics.Class // counts its answer as written; nil if nobody asks
 
-	front  Front
-	watch  Watcher
+	front  Codec
+	watch  Observer
 	caller *bufconn.Conn
 
 	ctx    context.Context // ends when the caller has left or is answered
@@ -113,7 +113,7 @@
 	gone    bool          // the caller has left
 	hop     *bufconn.Conn // after UP
 	server  string        // and whose it is
-	heir    Heir          // who is to go on with it; nil if nobody
+	heir    Successor     // who is to go on with it; nil if nobody
 	offered bool          // it has been asked
 	moving  bool          // a MOVE is wanted
 	closing bool          // the caller leg is about to be closed
@@ -122,21 +122,21 @@
 }
 
 // New returns a transaction for a request that came on the caller leg.
-func New(r Request, o Opening, f Front, w Watcher, caller *bufconn.Conn) *Transaction {
-	t := &Transaction{Request: r, Opening: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
+func New(r Request, o RequestEncoder, f Codec, w Observer, caller *bufconn.Conn) *Session {
+	t := &Session{Request: r, RequestEncoder: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
 
 // Asked is the request, for the deciding side.
-func (t *Transaction) PlacementRequest() *dispatch.Request { return &t.Request }
+func (t *Session) PlacementRequest() *dispatch.Request { return &t.Request }
 
 // Context ends when no branch is wanted any more: the caller has left, or the
 // final answer was given.
-func (t *Transaction) Context() context.Context { return t.ctx }
+func (t *Session) Context() context.Context { return t.ctx }
 
 // settle gives the final answer, unless there is one or the caller has left.
-func (t *Transaction) settle(a answer) bool {
+func (t *Session) settle(a answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.settled {
@@ -153,16 +153,16 @@
 }
 
 // Refuse gives the busy answer.
-func (t *Transaction) Reject(pause time.Duration) bool {
+func (t *Session) Reject(pause time.Duration) bool {
 	return t.settle(answer{line: t.front.Busy(pause), busy: true})
 }
 
 // Fail gives the answer that promises nothing.
-func (t *Transaction) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
+func (t *Session) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
 
 // GiveUp answers a caller for whom nobody can find a next hop in the time that is left, as
 // when the node ends, with what promises nothing; the deciding side forgets it.
-func (t *Transaction) GiveUp() {
+func (t *Session) GiveUp() {
 	if t.Fail() {
 		t.watch.ClientGone(t)
 	}
@@ -171,13 +171,13 @@
 // Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
-func (t *Transaction) Up(line, server string, hop *bufconn.Conn) bool {
+func (t *Session) Establish(line, server string, hop *bufconn.Conn) bool {
 	return t.settle(answer{line: line, from: server, hop: hop})
 }
 
 // Move asks the caller to come again, also where it was to be handed over and has not
 // been offered yet. Before UP it does nothing.
-func (t *Transaction) Migrate() {
+func (t *Session) Migrate() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.hop != nil && !t.offered {
@@ -187,7 +187,7 @@
 }
 
 // leave is called when the caller's leg has ended.
-func (t *Transaction) leave() {
+func (t *Session) leave() {
 	t.mu.Lock()
 	first := !t.settled
 	t.settled, t.gone = true, true
@@ -203,7 +203,7 @@
 }
 
 // Standing tells whether the connection is up, and nobody has asked its caller to go.
-func (t *Transaction) Standing() bool {
+func (t *Session) IsEstablished() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.hop != nil && !t.moving && t.heir == nil
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -38,7 +38,7 @@
 
 type opening struct{}
 
-func (opening) Forward(_, _ time.Time) string { return "OPEN" }
+func (opening) ForwardLine(_, _ time.Time) string { return "OPEN" }
 
 // watcher keeps what it is told.
 type watcher struct {
@@ -52,7 +52,7 @@
 // bench is a transaction between two parties on real sockets.
 type bench struct {
 	*watcher
-	t           *proxy.Transaction
+	t           *proxy.Session
 	hopLeg      *bufconn.Conn
 	caller, hop net.Conn // the far ends
 	fromNode    *bufio.Reader
@@ -88,7 +88,7 @@
 // up brings the connection up.
 func (b *bench) up(t *testing.T) {
 	t.Helper()
-	if !b.t.Up("UP r1", "s1", b.hopLeg) {
+	if !b.t.Establish("UP r1", "s1", b.hopLeg) {
 		t.Fatal("Up was not taken")
 	}
 	b.expect(t, b.fromNode, "UP r1\r\n")
--- a/internal/proxy/heir_test.go
+++ b/internal/proxy/heir_test.go
@@ -16,7 +16,7 @@
 	t     *testing.T
 	asked chan struct{}
 	takes chan bool
-	s     proxy.Standing
+	s     proxy.EstablishedSession
 	*watcher
 	finished chan struct{}
 }
@@ -26,7 +26,7 @@
 		watcher: &watcher{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}}
 }
 
-func (h *heir) Take(s proxy.Standing, caller, hop net.Conn) bool {
+func (h *heir) Take(s proxy.EstablishedSession, caller, hop net.Conn) bool {
 	copied := func(c net.Conn) net.Conn { // as it would come to another process
 		file, err := c.(interface{ File() (*os.File, error) }).File()
 		if err != nil {
@@ -39,17 +39,17 @@
 		}
 		return c
 	}
-	s.FromCaller, s.FromHop = append([]byte{}, s.FromCaller...), append([]byte{}, s.FromHop...)
-	s.Hold = proxy.NewHold()
+	s.FromClient, s.FromUpstream = append([]byte{}, s.FromClient...), append([]byte{}, s.FromUpstream...)
+	s.Gate = proxy.NewCommitGate()
 	h.s = s
 	x := proxy.Inherit(s, lineproto.Codec{}, h.watcher, copied(caller), copied(hop))
 	go func() { defer close(h.finished); x.Run() }()
 	close(h.asked)
 	takes := <-h.takes
 	if takes {
-		s.Hold.Commit()
+		s.Gate.Commit()
 	} else {
-		s.Hold.Abort()
+		s.Gate.Abort()
 	}
 	return takes
 }
@@ -101,10 +101,10 @@
 						e.do(b)
 					}
 				}
-				b.t.Yield(h)
+				b.t.HandOver(h)
 				wait(t, h.asked)
-				if string(h.s.FromCaller) != "hal" || string(h.s.FromHop) != "ha" || h.s.Pending.IsZero() {
-					t.Errorf("handed over: %q, %q, pending since %v", h.s.FromCaller, h.s.FromHop, h.s.Pending)
+				if string(h.s.FromClient) != "hal" || string(h.s.FromUpstream) != "ha" || h.s.PendingSince.IsZero() {
+					t.Errorf("handed over: %q, %q, pending since %v", h.s.FromClient, h.s.FromUpstream, h.s.PendingSince)
 				}
 				if when != after {
 					cross()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -29,7 +29,7 @@
 
 // forward passes the caller's lines on until either side ends. It tells whether
 // it was the caller.
-func (t *Transaction) forward(hop *bufconn.Conn) bool {
+func (t *Session) forward(hop *bufconn.Conn) bool {
 	for {
 		line, err := t.caller.ReadRawLine()
 		if err != nil {
@@ -51,7 +51,7 @@
 }
 
 // sent notes that a line of the caller's waits for the next hop's answer.
-func (t *Transaction) sent(hop *bufconn.Conn) {
+func (t *Session) sent(hop *bufconn.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.pending.IsZero() && !t.moving && !t.gone {
@@ -63,7 +63,7 @@
 }
 
 // heard notes that the next hop has answered.
-func (t *Transaction) heard(hop *bufconn.Conn) {
+func (t *Session) heard(hop *bufconn.Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.pending.IsZero() && !t.moving && !t.gone && t.heir == nil {
@@ -75,15 +75,15 @@
 // relay passes the next hop's lines on, starting with its UP, until either side
 // ends or the caller is to move. Only whole lines are written, so MOVE always
 // stands between two.
-func (t *Transaction) relay(a answer) End {
+func (t *Session) relay(a answer) EndReason {
 	if a.line != "" {
 		if err := t.caller.WriteLine(a.line, time.Now().Add(stall)); err != nil {
-			return t.cut(a.hop, CallerLeft)
+			return t.cut(a.hop, EndClientClosed)
 		}
-		t.Figures.Fulfilled()
+		t.Metrics.Fulfilled()
 	}
 	defer t.begin(a)()
-	how := Broken
+	how := EndUpstreamClosed
 	for {
 		line, err := a.hop.ReadRawLine()
 		if err != nil {
@@ -92,25 +92,25 @@
 			}
 			return t.finish(a.hop, how, err)
 		}
-		switch t.front.Notice(line) {
-		case NoticeLoad: // is no answer
-		case NoticeMove:
-			how = Moved
+		switch t.front.Classify(line) {
+		case LineLoadReport: // is no answer
+		case LineMove:
+			how = EndMoved
 			line = t.withTicket(line)
-		case NoticeBye:
-			how = Served
+		case LineBye:
+			how = EndServed
 		default:
 			t.heard(a.hop)
-			if t.Continuity != nil {
-				t.Passed(line)
+			if t.Resumption != nil {
+				t.Observe(line)
 			}
 		}
 		if _, err := t.caller.W.Write(line); err != nil {
-			return t.cut(a.hop, CallerLeft)
+			return t.cut(a.hop, EndClientClosed)
 		}
 		if !a.hop.HasLine() {
 			if err := t.caller.Flush(time.Now().Add(stall)); err != nil {
-				return t.cut(a.hop, CallerLeft)
+				return t.cut(a.hop, EndClientClosed)
 			}
 		}
 	}
@@ -118,7 +118,7 @@
 
 // lookAgain is asked when a read from the next hop has failed. It is true, once, if
 // that was because a line has waited for its answer too long.
-func (t *Transaction) lookAgain(hop *bufconn.Conn, err error) bool {
+func (t *Session) lookAgain(hop *bufconn.Conn, err error) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !errors.Is(err, os.ErrDeadlineExceeded) || t.moving || t.gone || t.looked || t.heir != nil {
@@ -130,28 +130,28 @@
 }
 
 // finish ends both sides after the next hop's leg could not be read further.
-func (t *Transaction) finish(hop *bufconn.Conn, how End, err error) End {
+func (t *Session) finish(hop *bufconn.Conn, how EndReason, err error) EndReason {
 	t.mu.Lock()
 	moving, gone, yields := t.moving, t.gone, t.heir != nil
 	t.mu.Unlock()
 	switch {
 	case gone:
-		return t.cut(hop, CallerLeft)
-	case how != Broken: // its last line has gone on
+		return t.cut(hop, EndClientClosed)
+	case how != EndUpstreamClosed: // its last line has gone on
 	case moving:
-		return t.leaveHop(hop, Moved)
+		return t.leaveHop(hop, EndMoved)
 	case yields && errors.Is(err, os.ErrDeadlineExceeded):
-		return HandedOver
+		return EndHandedOver
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull):
-		return t.leaveHop(hop, Silent)
+		return t.leaveHop(hop, EndUpstreamSilent)
 	case t.rescue():
 		_ = hop.Close()
 		t.caller.CloseWrite()
-		return Broken
+		return EndUpstreamClosed
 	case errors.Is(err, io.EOF):
 	default:
 		t.caller.Abort() // reset, as its next hop was
-		return t.cut(hop, Broken)
+		return t.cut(hop, EndUpstreamClosed)
 	}
 	_ = hop.Close()
 	t.caller.CloseWrite()
@@ -160,7 +160,7 @@
 
 // leaveHop moves the caller, and lets the next hop know that nothing more comes. Run reads
 // what that one has still on its way.
-func (t *Transaction) leaveHop(hop *bufconn.Conn, how End) End {
+func (t *Session) leaveHop(hop *bufconn.Conn, how EndReason) EndReason {
 	_ = t.caller.WriteLine(t.moveLine(), time.Now().Add(stall))
 	t.caller.CloseWrite()
 	hop.CloseWrite()
@@ -168,7 +168,7 @@
 }
 
 // cut ends the next hop's side at once.
-func (t *Transaction) cut(hop *bufconn.Conn, how End) End {
+func (t *Session) cut(hop *bufconn.Conn, how EndReason) EndReason {
 	_ = hop.Close()
 	return how
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -18,7 +18,7 @@
 
 // Run serves the caller leg to its end: the final answer, and after UP the
 // relay. It returns when both legs are closed.
-func (t *Transaction) Run() {
+func (t *Session) Run() {
 	done := make(chan struct{})
 	go func() { // ends with the caller leg, which is closed below
 		defer close(done)
@@ -31,18 +31,18 @@
 	case a.hop == nil:
 		if t.caller.WriteLine(a.line, time.Now().Add(stall)) == nil {
 			if a.busy {
-				t.Figures.Rejected()
+				t.Metrics.Rejected()
 			} else {
-				t.Figures.Failed()
+				t.Metrics.Failed()
 			}
 		}
 		t.caller.CloseWrite()
 	default:
 		hop = a.hop
 		how := t.relay(a)
-		if how == HandedOver {
+		if how == EndHandedOver {
 			<-done
-			if how = t.pass(a.hop); how == Moved {
+			if how = t.pass(a.hop); how == EndMoved {
 				done = t.drop() // beside the write, as its caller may be writing too
 				_ = t.caller.WriteLine(t.moveLine(), time.Now().Add(stall))
 				t.caller.CloseWrite()
@@ -52,7 +52,7 @@
 			<-done
 			done = t.drop()
 		}
-		if how == HandedOver {
+		if how == EndHandedOver {
 			hop.Release() // only this process's copy: what comes on it is the other one's to read
 			hop = nil
 		}
@@ -76,7 +76,7 @@
 }
 
 // drop reads and drops what the caller still writes, until its leg's read deadline.
-func (t *Transaction) drop() (done chan struct{}) {
+func (t *Session) drop() (done chan struct{}) {
 	done = make(chan struct{})
 	_ = t.caller.SetReadDeadline(time.Time{})
 	go func() {
@@ -87,7 +87,7 @@
 }
 
 // readCaller notices that the caller leaves and, after UP, passes its lines on.
-func (t *Transaction) readCaller() {
+func (t *Session) readCaller() {
 	switch err := t.await(); {
 	case err == errTooEarly:
 		// It breaks the protocol, and behind what it sent its end would not be
@@ -123,7 +123,7 @@
 // before or sent too much. Lines that come too early stay in the buffer. They must
 // not hide that their caller leaves, so it looks for more behind them, until Up
 // wakes it.
-func (t *Transaction) await() error {
+func (t *Session) await() error {
 	for t.caller.R.Buffered() < bufconn.BufferSize {
 		_, err := t.caller.R.Peek(t.caller.R.Buffered() + 1)
 		if t.ctx.Err() != nil {
--- a/internal/proxy/yield_test.go
+++ b/internal/proxy/yield_test.go
@@ -48,7 +48,7 @@
 	b.up(t)
 	say(t, b.caller, "one\r\n")
 	wait(t, line.wrote)
-	b.t.Yield(h)
+	b.t.HandOver(h)
 	return b, h, line
 }
 
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -69,7 +69,7 @@
 }
 
 // end lets a process end: at once, or as one that is replaced.
-func (s *scene) end(n *node, heir proxy.Heir) {
+func (s *scene) end(n *node, heir proxy.Successor) {
 	if heir == nil {
 		_ = n.door.Close()
 	} else {
@@ -127,11 +127,11 @@
 	to *downstream.Server
 }
 
-func (h heir) Take(st proxy.Standing, c, hop net.Conn) bool {
+func (h heir) Take(st proxy.EstablishedSession, c, hop net.Conn) bool {
 	if h.s.chance(0.1) {
 		return false
 	}
-	st.FromCaller, st.FromHop = bytes.Clone(st.FromCaller), bytes.Clone(st.FromHop) // as the wire does
+	st.FromClient, st.FromUpstream = bytes.Clone(st.FromClient), bytes.Clone(st.FromUpstream) // as the wire does
 	a, b := c.(*handle), hop.(*handle)
 	a.given.Store(true)
 	b.given.Store(true)
--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -26,7 +26,7 @@
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Factory) Continuity(o *lineproto.ConnectRequest) proxy.Continuity {
+func (s Factory) Continuity(o *lineproto.ConnectRequest) proxy.Resumption {
 	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
 	if o.ResumeToken != lineproto.ResumeWanted {
 		c.token = o.ResumeToken
@@ -52,7 +52,7 @@
 
 // Begin redeems the token now that a next hop has taken the caller: one that gets
 // a busy answer keeps it unspent.
-func (c *session) Begin(ctx context.Context, up string) string {
+func (c *session) StartLine(ctx context.Context, up string) string {
 	if !lineproto.IsResumable(up) {
 		return ""
 	}
@@ -69,10 +69,10 @@
 	return lineproto.FormatStreamStart(o, c.came)
 }
 
-func (c *session) Passed(text []byte) { c.reading.Observe(text) }
+func (c *session) Observe(text []byte) { c.reading.Observe(text) }
 
 // Ticket is minted once: a caller that is told twice to move has one token.
-func (c *session) Ticket() string {
+func (c *session) Token() string {
 	if !c.wasTicketed {
 		c.wasTicketed = true
 		if pos, ok := c.reading.Position(); ok {
--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -20,7 +20,7 @@
 // branch is one attempt of a transaction.
 type branch struct {
 	hops     *Pool
-	t        *proxy.Transaction
+	t        *proxy.Session
 	hop      *hop
 	deadline time.Time
 }
@@ -28,7 +28,7 @@
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
 func (h *Pool) StartAttempt(item dispatch.Placement, attempt int, server string, deadline time.Time) {
-	t := item.(*proxy.Transaction) // exchange.Decided brings no others here
+	t := item.(*proxy.Session) // exchange.Decided brings no others here
 	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
 	go func() {
 		begun := time.Now()
@@ -82,10 +82,10 @@
 		b.t.CurrentServer == "" && !b.hop.mayTake(now, b.hops.limits.Load().DrainGrace/2) {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
-	if err := l.WriteLine(b.t.Forward(now, b.deadline), b.deadline); err != nil {
+	if err := l.WriteLine(b.t.ForwardLine(now, b.deadline), b.deadline); err != nil {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport // its last byte was not written
 	}
-	b.t.Figures.Forwarded()
+	b.t.Metrics.Forwarded()
 	text, err := l.ReadTextLineBefore(b.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -97,7 +97,7 @@
 	switch reply {
 	case lineproto.Up:
 		_ = l.SetReadDeadline(time.Time{})
-		if stop() && b.t.Up(string(text), b.hop.id, l) {
+		if stop() && b.t.Establish(string(text), b.hop.id, l) {
 			return true, balance.OK, load
 		}
 		return false, balance.Cancelled, load
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -87,7 +87,7 @@
 }
 
 // transaction returns one that a caller waits for.
-func transaction(t *testing.T, w watcher) *proxy.Transaction {
+func transaction(t *testing.T, w watcher) *proxy.Session {
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { near.Close(); far.Close() })
