--- a/balance/affinity_test.go
+++ b/balance/affinity_test.go
@@ -11,25 +11,25 @@
 
 // A wave scattered the members of a group over the fleet, and each new holder
 // paid for the group: a tie goes to where this instance holds it.
-func TestGroupsStayTogether(t *testing.T) {
-	set := settings()
+func TestGroupMemberFollowsLastPlacement(t *testing.T) {
+	set := testSettings()
 	set.Connections.GroupAffinity = true
-	d := newBench(t, set, "a", "b", "c", "d", "e", "f")
-	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "d"})
+	d := newDriver(t, set, "a", "b", "c", "d", "e", "f")
+	d.handle(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "d"})
 	for i, tt := range []struct {
 		load float64
 		home bool
 	}{{0.2, true}, {0.9, false}} {
 		id := fmt.Sprint("r", i)
-		actions := d.tell(Request{ID: id, Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
-		for len(pick[Probe](actions)) > 0 {
-			server, load := pick[Probe](actions)[0].Server, 0.1
+		actions := d.handle(Request{ID: id, Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
+		for len(actionsOf[Probe](actions)) > 0 {
+			server, load := actionsOf[Probe](actions)[0].Server, 0.1
 			if server == "d" {
 				load = tt.load
 			}
-			actions = d.answer(server, load)
+			actions = d.answerProbe(server, load)
 		}
-		sent := pick[Attempt](actions)
+		sent := actionsOf[Attempt](actions)
 		if len(sent) != 1 || (sent[0].Server == "d") != tt.home {
 			t.Errorf("home at %.1f: sent %v", tt.load, sent)
 		}
@@ -38,8 +38,8 @@
 
 // Many instances see a few members of a group each. Where its first home is fuller than
 // the usual, or full, their members scattered over the fleet, and each new holder paid.
-func TestInstancesGatherAGroup(t *testing.T) {
-	set := settings()
+func TestInstancesAgreeOnGroupServers(t *testing.T) {
+	set := testSettings()
 	set.Connections.GroupAffinity, set.Instances = true, 40
 	ids := make([]string, 20)
 	for i := range ids {
@@ -59,14 +59,14 @@
 		}
 		at := map[string]int{}
 		for i := range set.Instances {
-			d := newBench(t, set, ids...)
-			d.b.rng = rand.New(rand.NewPCG(uint64(i), 7))
-			actions := d.tell(Request{ID: "r", Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
-			for len(pick[Probe](actions)) > 0 {
-				server := pick[Probe](actions)[0].Server
-				actions = d.answer(server, loads[server])
+			d := newDriver(t, set, ids...)
+			d.balancer.rng = rand.New(rand.NewPCG(uint64(i), 7))
+			actions := d.handle(Request{ID: "r", Class: "c", Group: "g", Deadline: d.now + 2*time.Second})
+			for len(actionsOf[Probe](actions)) > 0 {
+				server := actionsOf[Probe](actions)[0].Server
+				actions = d.answerProbe(server, loads[server])
 			}
-			for _, sent := range pick[Attempt](actions) {
+			for _, sent := range actionsOf[Attempt](actions) {
 				at[sent.Server]++
 			}
 		}
@@ -86,19 +86,19 @@
 }
 
 // A group's homes are those that its route and the fleet allow, and it gathers there.
-func TestHomesWithinBounds(t *testing.T) {
-	set := settings()
+func TestAffinityServersRespectConstraints(t *testing.T) {
+	set := testSettings()
 	set.Connections.GroupAffinity = true
-	d := newBench(t, set)
+	d := newDriver(t, set)
 	var list []ServerEntry
 	for i := range 120 {
 		list = append(list, ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint(i % 12)})
 	}
-	d.list(ListFull, list...)
-	d.grant(QuotaLease{Zones: []ZoneQuota{{"3", 0, -1}}})
-	got := d.spread(Request{Group: "g", Constraint: only("3", "7")}, 50)
+	d.updateList(ListFull, list...)
+	d.leaseQuota(QuotaLease{Zones: []ZoneQuota{{"3", 0, -1}}})
+	got := d.placeMany(Request{Group: "g", Constraint: onlyZones("3", "7")}, 50)
 	for at := range got {
-		if s := d.b.servers[at]; s == nil || s.Zone != "7" {
+		if s := d.balancer.servers[at]; s == nil || s.Zone != "7" {
 			t.Errorf("%q took members", at)
 		}
 	}
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -11,7 +11,7 @@
 func BenchmarkPlace(bm *testing.B) {
 	for _, servers := range []int{20, 2000} {
 		bm.Run(fmt.Sprint(servers, "servers"), func(bm *testing.B) {
-			b, err := New(1, settings())
+			b, err := New(1, testSettings())
 			if err != nil {
 				bm.Fatal(err)
 			}
@@ -19,7 +19,7 @@
 			for i := range servers {
 				ids = append(ids, fmt.Sprint("s", i))
 			}
-			actions := b.Handle(0, ListUpdate{Kind: ListFull, Entries: entries(ids...)}, nil)
+			actions := b.Handle(0, ListUpdate{Kind: ListFull, Entries: readyEntries(ids...)}, nil)
 			now, load := time.Second, EmptyLoadReport
 			load.Utilization = 0.1
 			bm.ReportAllocs()
@@ -28,9 +28,9 @@
 				placed := ""
 				actions = b.Handle(now, Request{ID: "r", Class: "c", Deadline: now + time.Second}, actions[:0])
 				for placed == "" {
-					probe := pick[Probe](actions)[0]
+					probe := actionsOf[Probe](actions)[0]
 					actions = b.Handle(now, ProbeResult{Server: probe.Server, Outcome: OK, Latency: ms, LoadReport: load}, actions[:0])
-					if sent := pick[Attempt](actions); len(sent) > 0 {
+					if sent := actionsOf[Attempt](actions); len(sent) > 0 {
 						placed = sent[0].Server
 					}
 				}
--- a/balance/draw_test.go
+++ b/balance/draw_test.go
@@ -8,14 +8,14 @@
 )
 
 func TestLowDrawDecidesAtOnce(t *testing.T) {
-	d := newBench(t, settings(), "a", "b", "c")
-	probes, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1})
+	d := newDriver(t, testSettings(), "a", "b", "c")
+	probes, at := placeRequest(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1})
 	if probes != 1 || at == "" {
 		t.Errorf("placed on %q after %d probes, want 1 probe", at, probes)
 	}
 }
 
-func TestDrawingHaltsAtTrials(t *testing.T) {
+func TestDrawingStopsAtTrials(t *testing.T) {
 	loads := map[string]float64{}
 	var ids []string
 	for i := range 40 {
@@ -23,8 +23,8 @@
 		ids = append(ids, id)
 		loads[id] = fullLoad - 0.04 + float64(i)/1000
 	}
-	d := newBench(t, settings(), ids...)
-	probes, at := drawsUntilPlaced(d, "r", loads)
+	d := newDriver(t, testSettings(), ids...)
+	probes, at := placeRequest(d, "r", loads)
 	if probes > trials || probes < 2 || at == "" {
 		t.Errorf("placed on %q after %d probes, want at most %d", at, probes, trials)
 	}
@@ -33,23 +33,23 @@
 // Where every server had a few faults most draws were void, a fifth of the rounds ended
 // with none, and that counted as congestion: placements paused although all could serve.
 func TestMostlyFaultyFleetStillServes(t *testing.T) {
-	d := newBench(t, settings(), "a", "b", "c", "d")
-	for _, s := range d.b.ready {
+	d := newDriver(t, testSettings(), "a", "b", "c", "d")
+	for _, s := range d.balancer.ready {
 		for range 20 {
-			d.b.recordFault(s)
+			d.balancer.recordFault(s)
 		}
 	}
-	d.run(d.now + time.Second)
+	d.runUntil(d.now + time.Second)
 	for i := range 100 {
-		if _, at := drawsUntilPlaced(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}); at == "" {
+		if _, at := placeRequest(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}); at == "" {
 			t.Fatalf("request %d is held", i)
 		}
 	}
-	worst := d.b.ready[0] // one that is worse than the rest is still left out
+	worst := d.balancer.ready[0] // one that is worse than the rest is still left out
 	for range 200 {
-		d.b.recordFault(worst)
+		d.balancer.recordFault(worst)
 	}
-	if share := d.b.drawShare(&request{}, worst); share > 0.1 {
+	if share := d.balancer.drawShare(&request{}, worst); share > 0.1 {
 		t.Errorf("the worst is left %.2f of its draws", share)
 	}
 }
@@ -75,9 +75,9 @@
 // least loaded of them.
 func TestThresholds(t *testing.T) {
 	loads := map[string]float64{"a": 0.71, "b": 0.715, "c": 0.705}
-	d := newBench(t, settings(), "a", "b", "c")
+	d := newDriver(t, testSettings(), "a", "b", "c")
 	for i := range 30 {
-		probes, at := drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+		probes, at := placeRequest(d, fmt.Sprint("r", i), loads)
 		if probes > trials || at == "" {
 			t.Fatalf("placed on %q after %d probes, want at most %d", at, probes, trials)
 		}
@@ -93,11 +93,11 @@
 	for i := range n {
 		ids = append(ids, fmt.Sprint("s", i))
 	}
-	d := newBench(t, settings(), ids...)
-	r := &request{class: d.b.classes["c"]}
+	d := newDriver(t, testSettings(), ids...)
+	r := &request{class: d.balancer.classes["c"]}
 	counts := map[string]int{}
 	for range n * each {
-		counts[d.b.drawServer(r).ID]++
+		counts[d.balancer.drawServer(r).ID]++
 	}
 	chi := 0.0
 	for _, id := range ids {
@@ -110,12 +110,12 @@
 
 // The least of d noisy readings is mostly luck: in a full fleet it would
 // always seem to have room.
-func TestFullFleetIsSeenAsFull(t *testing.T) {
-	d := newBench(t, settings(), "a")
+func TestLuckyReadingDoesNotHideFullFleet(t *testing.T) {
+	d := newDriver(t, testSettings(), "a")
 	for range 40 {
-		d.answer("a", 1)
+		d.answerProbe("a", 1)
 	}
-	b, s := d.b, d.b.servers["a"]
+	b, s := d.balancer, d.balancer.servers["a"]
 	s.reportedLoad = 0.72 // a lucky reading
 	if got := b.estimatedLoad(s); got < fullLoad {
 		t.Errorf("load %.2f, want at least %.2f", got, fullLoad)
@@ -127,47 +127,47 @@
 }
 
 // What is avoided is who drains and who has failed more than the others of late.
-func TestAvoided(t *testing.T) {
-	d := newBench(t, settings(), "a", "b", "c")
+func TestAvoidedServers(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b", "c")
 	expect := func(n int, when string) {
 		t.Helper()
-		if got := d.b.AvoidedServers(); got != n {
+		if got := d.balancer.AvoidedServers(); got != n {
 			t.Errorf("%s: %d avoided, want %d", when, got, n)
 		}
 	}
 	expect(0, "at first")
 	silent := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
-	d.tell(silent)
+	d.handle(silent)
 	expect(0, "after one failure")
-	d.tell(silent)
+	d.handle(silent)
 	expect(1, "after two")
-	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Draining}}})
+	d.handle(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Draining}}})
 	expect(2, "while another drains")
-	d.tell(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Gone}}})
+	d.handle(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Gone}}})
 	expect(1, "when that is gone")
 	d.now += 30 * time.Second
-	d.tell(TimerFired{})
+	d.handle(TimerFired{})
 	expect(0, "later")
 }
 
 // Probes may all go unanswered while servers work: one of the drawn is tried.
-func TestAllProbesUnanswered(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
-	d.request("r")
-	if got := pick[Attempt](d.run(d.now + time.Second)); len(got) != 1 {
+func TestPlacesWhenAllProbesAreUnanswered(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
+	d.sendRequest("r")
+	if got := actionsOf[Attempt](d.runUntil(d.now + time.Second)); len(got) != 1 {
 		t.Errorf("%v, want one attempt", got)
 	}
 }
 
 // Without probes the last reports decide, as they came with outcomes.
-func TestProbingNotAllowed(t *testing.T) {
-	set := settings()
+func TestLastReportsDecideWithoutProbes(t *testing.T) {
+	set := testSettings()
 	set.Limits.ProbesAllowed, set.LoadReporting, set.Connections.GroupAffinity = false, LoadReporting{InOutcomes: true}, true
-	d := newBench(t, set, "a", "b", "c")
-	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
+	d := newDriver(t, set, "a", "b", "c")
+	d.handle(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
 	for _, group := range []string{"", "g", "h"} { // a group's homes are not probed either
-		got := d.tell(Request{ID: "r" + group, Class: "c", Group: group, Deadline: d.now + 2*time.Second})
-		if len(pick[Probe](got)) != 0 || len(pick[Attempt](got)) != 1 {
+		got := d.handle(Request{ID: "r" + group, Class: "c", Group: group, Deadline: d.now + 2*time.Second})
+		if len(actionsOf[Probe](got)) != 0 || len(actionsOf[Attempt](got)) != 1 {
 			t.Errorf("group %q: %v, want an attempt without a probe", group, got)
 		}
 	}
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -7,17 +7,17 @@
 
 // A dead list service is asked every second or so, however many ask and on every setting:
 // what it has to tell counts as told some seconds after it is back.
-func TestDeadListIsAskedOften(t *testing.T) {
+func TestFailedSubscriptionIsRetriedEverySecond(t *testing.T) {
 	for _, instances := range []int{3, 300} {
 		for _, within := range []time.Duration{20 * ms, 10 * time.Second, time.Hour} {
-			set := settings()
+			set := testSettings()
 			set.SubscribeRequired, set.Instances, set.SubscribeTimeout = true, instances, within
-			d := newBench(t, set, "a")
-			d.run(d.now + 2*time.Second)
+			d := newDriver(t, set, "a")
+			d.runUntil(d.now + 2*time.Second)
 			for i := range 8 {
 				failed := d.now
-				d.list(ListFailed)
-				for len(pick[Subscribe](d.run(d.now+10*ms))) == 0 && d.now < failed+10*time.Second {
+				d.updateList(ListFailed)
+				for len(actionsOf[Subscribe](d.runUntil(d.now+10*ms))) == 0 && d.now < failed+10*time.Second {
 				}
 				if gap := d.now - failed; gap > 1260*ms {
 					t.Errorf("%d instances, within %v: call %d came after %v", instances, within, i, gap)
@@ -27,37 +27,37 @@
 	}
 }
 
-func TestSubscription(t *testing.T) {
-	set := settings()
+func TestSubscriptionBackoff(t *testing.T) {
+	set := testSettings()
 	set.SubscribeRequired, set.Instances = true, 50
-	d := newBench(t, set, "a")
-	if got := pick[Subscribe](d.run(d.now + set.SubscribeTimeout)); len(got) != 1 {
+	d := newDriver(t, set, "a")
+	if got := actionsOf[Subscribe](d.runUntil(d.now + set.SubscribeTimeout)); len(got) != 1 {
 		t.Fatalf("%d calls within the time allowed, want 1", len(got))
 	}
 	last := d.now
 	for i := range 8 { // every call fails
-		d.list(ListFailed)
+		d.updateList(ListFailed)
 		var got []Subscribe
 		for len(got) == 0 && d.now < last+4*set.SubscribeTimeout {
-			got = pick[Subscribe](d.run(d.now + 100*ms))
+			got = actionsOf[Subscribe](d.runUntil(d.now + 100*ms))
 		}
 		if gap := d.now - last; len(got) != 1 || gap > set.SubscribeTimeout {
 			t.Errorf("call %d came after %v, want within %v", i, gap, set.SubscribeTimeout)
 		}
 		last = d.now
 	}
-	d.list(ListDelta)
-	if got := pick[Subscribe](d.run(d.now + 5*set.SubscribeTimeout)); len(got) != 0 {
+	d.updateList(ListDelta)
+	if got := actionsOf[Subscribe](d.runUntil(d.now + 5*set.SubscribeTimeout)); len(got) != 0 {
 		t.Errorf("%d calls while subscribed", len(got))
 	}
 }
 
 // A draining server that a later whole list does not name is forgotten too.
-func TestUnlistedServersAreForgotten(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
-	d.list(ListDelta, ServerEntry{ID: "a", State: Draining})
-	d.list(ListFull, entries("b")...)
-	if len(d.b.servers) != 1 || len(d.b.ready) != 1 || len(d.b.ring) != 1 {
-		t.Errorf("%d servers, %d ready, %d on the ring; want 1 each", len(d.b.servers), len(d.b.ready), len(d.b.ring))
+func TestUnlistedServersAreRemoved(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
+	d.updateList(ListDelta, ServerEntry{ID: "a", State: Draining})
+	d.updateList(ListFull, readyEntries("b")...)
+	if len(d.balancer.servers) != 1 || len(d.balancer.ready) != 1 || len(d.balancer.ring) != 1 {
+		t.Errorf("%d servers, %d ready, %d on the ring; want 1 each", len(d.balancer.servers), len(d.balancer.ready), len(d.balancer.ring))
 	}
 }
--- a/balance/harness_test.go
+++ b/balance/harness_test.go
@@ -8,7 +8,7 @@
 const ms = time.Millisecond
 
 // settings returns settings that tests change to their need.
-func settings() Settings {
+func testSettings() Settings {
 	return Settings{
 		Instances:        1,
 		Tick:             ms,
@@ -22,30 +22,30 @@
 }
 
 // bench drives one Balancer: it keeps the clock and the pending timers.
-type bench struct {
-	t      *testing.T
-	b      *Balancer
-	now    time.Duration
-	timers []timer
+type driver struct {
+	t        *testing.T
+	balancer *Balancer
+	now      time.Duration
+	timers   []pendingTimer
 }
 
-type timer struct {
+type pendingTimer struct {
 	at    time.Duration
 	token uint64
 }
 
-func newBench(t *testing.T, set Settings, servers ...string) *bench {
+func newDriver(t *testing.T, set Settings, servers ...string) *driver {
 	t.Helper()
 	b, err := New(1, set)
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &bench{t: t, b: b, now: time.Second}
-	d.list(ListCached, entries(servers...)...)
+	d := &driver{t: t, balancer: b, now: time.Second}
+	d.updateList(ListCached, readyEntries(servers...)...)
 	return d
 }
 
-func entries(ids ...string) []ServerEntry {
+func readyEntries(ids ...string) []ServerEntry {
 	list := make([]ServerEntry, len(ids))
 	for i, id := range ids {
 		list[i] = ServerEntry{ID: id}
@@ -54,11 +54,11 @@
 }
 
 // tell hands over an event and returns the actions but for timers.
-func (d *bench) tell(ev Event) []Action {
+func (d *driver) handle(ev Event) []Action {
 	var rest []Action
-	for _, a := range d.b.Handle(d.now, ev, nil) {
+	for _, a := range d.balancer.Handle(d.now, ev, nil) {
 		if t, ok := a.(SetTimer); ok {
-			d.timers = append(d.timers, timer{d.now + t.Delay, t.Token})
+			d.timers = append(d.timers, pendingTimer{d.now + t.Delay, t.Token})
 		} else {
 			rest = append(rest, a)
 		}
@@ -66,22 +66,22 @@
 	return rest
 }
 
-func (d *bench) list(kind ListKind, list ...ServerEntry) []Action {
-	return d.tell(ListUpdate{Kind: kind, Entries: list})
+func (d *driver) updateList(kind ListKind, list ...ServerEntry) []Action {
+	return d.handle(ListUpdate{Kind: kind, Entries: list})
 }
 
-func (d *bench) request(id string) []Action {
-	return d.tell(Request{ID: id, Class: "c", Deadline: d.now + 2*time.Second})
+func (d *driver) sendRequest(id string) []Action {
+	return d.handle(Request{ID: id, Class: "c", Deadline: d.now + 2*time.Second})
 }
 
-func (d *bench) answer(server string, x0 float64) []Action {
+func (d *driver) answerProbe(server string, x0 float64) []Action {
 	l := EmptyLoadReport
 	l.Utilization = x0
-	return d.tell(ProbeResult{Server: server, Outcome: OK, Latency: ms, LoadReport: l})
+	return d.handle(ProbeResult{Server: server, Outcome: OK, Latency: ms, LoadReport: l})
 }
 
 // run lets time pass, firing timers in order, and returns the actions.
-func (d *bench) run(until time.Duration) []Action {
+func (d *driver) runUntil(until time.Duration) []Action {
 	var all []Action
 	for {
 		first := -1
@@ -97,12 +97,12 @@
 		t := d.timers[first]
 		d.timers = append(d.timers[:first], d.timers[first+1:]...)
 		d.now = max(d.now, t.at)
-		all = append(all, d.tell(TimerFired{Token: t.token})...)
+		all = append(all, d.handle(TimerFired{Token: t.token})...)
 	}
 }
 
 // pick returns the actions of type T.
-func pick[T Action](actions []Action) []T {
+func actionsOf[T Action](actions []Action) []T {
 	var found []T
 	for _, a := range actions {
 		if t, ok := a.(T); ok {
@@ -114,22 +114,22 @@
 
 // drawsUntilPlaced lets a request draw with every probe answered by loads, and
 // returns how many probes it took and where the request went.
-func drawsUntilPlaced(d *bench, id string, loads map[string]float64) (int, string) {
-	actions, probes := d.request(id), 0
+func placeRequest(d *driver, id string, loads map[string]float64) (int, string) {
+	actions, probes := d.sendRequest(id), 0
 	for {
-		if sent := pick[Attempt](actions); len(sent) > 0 {
+		if sent := actionsOf[Attempt](actions); len(sent) > 0 {
 			return probes, sent[0].Server
 		}
-		asked := pick[Probe](actions)
+		asked := actionsOf[Probe](actions)
 		if len(asked) == 0 {
 			return probes, ""
 		}
 		probes++
-		actions = d.answer(asked[0].Server, loads[asked[0].Server])
+		actions = d.answerProbe(asked[0].Server, loads[asked[0].Server])
 	}
 }
 
-func report(x0, inflight float64) LoadReport {
+func loadReport(x0, inflight float64) LoadReport {
 	l := EmptyLoadReport
 	l.Utilization, l.Inflight = x0, inflight
 	return l
--- a/balance/memory_test.go
+++ b/balance/memory_test.go
@@ -10,34 +10,34 @@
 
 // What one process has learned another goes on by, but not of a server that has started
 // anew since, and nothing that can't be true.
-func TestLearned(t *testing.T) {
-	set := settings()
-	d := newBench(t, set, "a", "b", "c")
+func TestInheritedState(t *testing.T) {
+	set := testSettings()
+	d := newDriver(t, set, "a", "b", "c")
 	loads := map[string]float64{"a": 0.6, "b": 0.6, "c": 0.6}
 	for i := range 12 {
-		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+		placeRequest(d, fmt.Sprint("r", i), loads)
 	}
-	d.tell(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
-	d.tell(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
-	m := d.b.LearnedState(d.now)
-	next := func(m LearnedState) *bench {
-		n := newBench(t, set, "a", "b", "c")
+	d.handle(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
+	d.handle(ProbeResult{Server: "b", Outcome: TimedOut, LoadReport: EmptyLoadReport})
+	m := d.balancer.LearnedState(d.now)
+	next := func(m LearnedState) *driver {
+		n := newDriver(t, set, "a", "b", "c")
 		n.now = d.now
-		n.tell(ListUpdate{Entries: []ServerEntry{{ID: "c", StartedAt: n.now}}})
-		n.tell(InheritedState{m})
+		n.handle(ListUpdate{Entries: []ServerEntry{{ID: "c", StartedAt: n.now}}})
+		n.handle(InheritedState{m})
 		return n
 	}
 	n := next(m)
-	if n.b.AvoidedServers() != 1 || n.b.meanLoad != d.b.meanLoad || n.b.probeRTT != d.b.probeRTT {
-		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.b.AvoidedServers(), n.b.meanLoad, n.b.probeRTT, d.b.meanLoad, d.b.probeRTT)
+	if n.balancer.AvoidedServers() != 1 || n.balancer.meanLoad != d.balancer.meanLoad || n.balancer.probeRTT != d.balancer.probeRTT {
+		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.balancer.AvoidedServers(), n.balancer.meanLoad, n.balancer.probeRTT, d.balancer.meanLoad, d.balancer.probeRTT)
 	}
 	sent := func(b *Balancer, id string) float64 { return b.servers[id].recentAttempts.value(n.now) }
-	if sent(n.b, "a") == 0 || sent(n.b, "a") != sent(d.b, "a") || sent(n.b, "c") != 0 {
-		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.b, "a"), sent(d.b, "a"), sent(n.b, "c"))
+	if sent(n.balancer, "a") == 0 || sent(n.balancer, "a") != sent(d.balancer, "a") || sent(n.balancer, "c") != 0 {
+		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.balancer, "a"), sent(d.balancer, "a"), sent(n.balancer, "c"))
 	}
-	n.tell(InheritedState{m}) // a third process was beside these
-	if sent(n.b, "a") != 2*sent(d.b, "a") || n.b.AvoidedServers() != 1 {
-		t.Errorf("what two have sent: %v, %d avoided", sent(n.b, "a"), n.b.AvoidedServers())
+	n.handle(InheritedState{m}) // a third process was beside these
+	if sent(n.balancer, "a") != 2*sent(d.balancer, "a") || n.balancer.AvoidedServers() != 1 {
+		t.Errorf("what two have sent: %v, %d avoided", sent(n.balancer, "a"), n.balancer.AvoidedServers())
 	}
 	for name, change := range map[string]func(m *LearnedState){
 		"no number":     func(m *LearnedState) { m.MeanLoad = math.NaN() },
@@ -48,7 +48,7 @@
 		bad := m
 		bad.Servers = slices.Clone(m.Servers)
 		change(&bad)
-		if n := next(bad); sent(n.b, "a") != 0 || n.b.meanLoad != 0 || n.b.AvoidedServers() != 0 {
+		if n := next(bad); sent(n.balancer, "a") != 0 || n.balancer.meanLoad != 0 || n.balancer.AvoidedServers() != 0 {
 			t.Errorf("%s: part of it was taken", name)
 		}
 	}
@@ -56,64 +56,64 @@
 
 // Other settings hold for what is asked from then on: fewer attempts for all, also for
 // who waits for one; another effect or deadline only for who comes later.
-func TestRetuned(t *testing.T) {
-	set := settings()
+func TestSettingsChanged(t *testing.T) {
+	set := testSettings()
 	set.Limits.MaxAttempts = 4
 	set.Classes = []Class{{Name: "c", LatencyObjective: 300 * ms, Deadline: time.Second}}
-	d := newBench(t, set, "a", "b", "c", "d")
+	d := newDriver(t, set, "a", "b", "c", "d")
 	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}
 	fail := func(id string, n int, o Outcome) []Action {
-		r := d.b.requests[id]
-		return d.tell(AttemptEnded{ID: id, Attempt: n, Server: r.server.ID, Outcome: o, LoadReport: EmptyLoadReport})
+		r := d.balancer.requests[id]
+		return d.handle(AttemptEnded{ID: id, Attempt: n, Server: r.server.ID, Outcome: o, LoadReport: EmptyLoadReport})
 	}
 	retry := func(id string, actions []Action) {
 		t.Helper()
-		for len(pick[Attempt](actions)) == 0 {
-			p := pick[Probe](actions)
+		for len(actionsOf[Attempt](actions)) == 0 {
+			p := actionsOf[Probe](actions)
 			if len(p) == 0 {
 				t.Fatalf("%s: %v", id, actions)
 			}
-			actions = d.tell(ProbeResult{Server: p[0].Server, Outcome: OK, Latency: ms, LoadReport: report(0.1, 5)})
+			actions = d.handle(ProbeResult{Server: p[0].Server, Outcome: OK, Latency: ms, LoadReport: loadReport(0.1, 5)})
 		}
 	}
-	drawsUntilPlaced(d, "old", loads)
-	drawsUntilPlaced(d, "waits", loads)
+	placeRequest(d, "old", loads)
+	placeRequest(d, "waits", loads)
 	retry("old", fail("old", 0, Errored))
 	waits := fail("waits", 0, AtCapacity) // draws again, and waits for a probe
-	if len(pick[Probe](waits)) == 0 {
+	if len(actionsOf[Probe](waits)) == 0 {
 		t.Fatalf("%v", waits)
 	}
 
 	next := set
 	next.Limits.MaxAttempts = 1
 	next.Classes = []Class{{Name: "c", LatencyObjective: 300 * ms, Deadline: time.Second, Idempotency: NonIdempotent}, {Name: "new", LatencyObjective: 300 * ms, Deadline: time.Second}}
-	if got := pick[Reject](d.tell(SettingsChanged{next})); len(got) != 1 || got[0].ID != "waits" {
+	if got := actionsOf[Reject](d.handle(SettingsChanged{next})); len(got) != 1 || got[0].ID != "waits" {
 		t.Errorf("of those that have made as many as are allowed now, refused: %v", got)
 	}
-	if got := fail("old", 1, Errored); len(pick[Reject](got)) != 1 {
+	if got := fail("old", 1, Errored); len(actionsOf[Reject](got)) != 1 {
 		t.Errorf("an old request, whose repeats do no harm: %v", got)
 	}
-	drawsUntilPlaced(d, "later", loads)
-	if got := fail("later", 0, Errored); len(pick[Fail](got)) != 1 {
+	placeRequest(d, "later", loads)
+	if got := fail("later", 0, Errored); len(actionsOf[Fail](got)) != 1 {
 		t.Errorf("a request of the stricter class: %v", got)
 	}
 	next.Limits.MaxAttempts = 2
-	d.tell(SettingsChanged{next})
-	drawsUntilPlaced(d, "again", loads)
+	d.handle(SettingsChanged{next})
+	placeRequest(d, "again", loads)
 	retry("again", fail("again", 0, AtCapacity))
-	if d.b.classes["new"] == nil || len(d.b.classes) != 2 {
-		t.Errorf("classes %v", d.b.classes)
+	if d.balancer.classes["new"] == nil || len(d.balancer.classes) != 2 {
+		t.Errorf("classes %v", d.balancer.classes)
 	}
 }
 
-func TestSettingsChecked(t *testing.T) {
+func TestSettingsValidate(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"no classes":     func(s *Settings) { s.Classes = nil },
 		"negative grace": func(s *Settings) { s.Rules.DrainGrace = -1 },
 		"cold share":     func(s *Settings) { s.Rules.InitialCapacity = 2 },
 		"effect":         func(s *Settings) { s.Classes[0].Idempotency = 9 },
 	} {
-		set := settings()
+		set := testSettings()
 		spoil(&set)
 		if _, err := New(1, set); err == nil {
 			t.Errorf("%s: no error", name)
@@ -121,12 +121,12 @@
 	}
 }
 
-func TestLogLinesAreFew(t *testing.T) {
-	d := newBench(t, settings())
+func TestLogIsThrottled(t *testing.T) {
+	d := newDriver(t, testSettings())
 	var lines []Log
 	for i := range 40 { // no server for 20 seconds
-		d.request(fmt.Sprint("r", i))
-		lines = append(lines, pick[Log](d.run(d.now+500*ms))...)
+		d.sendRequest(fmt.Sprint("r", i))
+		lines = append(lines, actionsOf[Log](d.runUntil(d.now+500*ms))...)
 	}
 	if len(lines) < 1 || len(lines) > 2 {
 		t.Errorf("%d lines in 20 seconds, want 1 or 2: %v", len(lines), lines)
@@ -134,65 +134,65 @@
 }
 
 // An hour back, sums that fade over seconds grew beyond all numbers.
-func TestClockStepsBack(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
+func TestClockSteppingBack(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
 	d.now = 10 * time.Hour
 	loads := map[string]float64{"a": 0.3, "b": 0.3}
 	for i := range 20 {
-		drawsUntilPlaced(d, fmt.Sprint("r", i), loads)
+		placeRequest(d, fmt.Sprint("r", i), loads)
 		d.now += 100 * ms
 	}
 	failed := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
-	d.tell(failed)
+	d.handle(failed)
 	d.now -= 2 * time.Hour
-	d.tell(failed)
+	d.handle(failed)
 	d.now += 2 * time.Hour
 	for i := range 20 {
-		if _, at := drawsUntilPlaced(d, fmt.Sprint("q", i), loads); at == "" {
+		if _, at := placeRequest(d, fmt.Sprint("q", i), loads); at == "" {
 			t.Fatal("nothing is placed any more")
 		}
 		d.now += 100 * ms
 	}
-	for _, s := range d.b.ready {
-		if load, share := d.b.estimatedLoad(s), d.b.drawShare(&request{}, s); !(load < 1) || !(share > 0.05) {
+	for _, s := range d.balancer.ready {
+		if load, share := d.balancer.estimatedLoad(s), d.balancer.drawShare(&request{}, s); !(load < 1) || !(share > 0.05) {
 			t.Errorf("%s is at %v and is left %v of its draws", s.ID, load, share)
 		}
 	}
 }
 
 // After silence of hours nothing is left of what was usual, and nothing is missed.
-func TestSilenceOfHours(t *testing.T) {
-	d := newBench(t, settings())
+func TestPlacesAfterHoursOfSilence(t *testing.T) {
+	d := newDriver(t, testSettings())
 	for round := range 3 {
-		d.list(ListFull, ServerEntry{ID: "a", StartedAt: d.now}, ServerEntry{ID: "b", StartedAt: d.now})
+		d.updateList(ListFull, ServerEntry{ID: "a", StartedAt: d.now}, ServerEntry{ID: "b", StartedAt: d.now})
 		placed := 0
 		follow := func(actions []Action) {
 			for len(actions) > 0 {
 				var next []Action
-				for _, p := range pick[Probe](actions) {
-					next = append(next, d.answer(p.Server, 0.1)...)
+				for _, p := range actionsOf[Probe](actions) {
+					next = append(next, d.answerProbe(p.Server, 0.1)...)
 				}
-				for _, a := range pick[Attempt](actions) { // it does not last
+				for _, a := range actionsOf[Attempt](actions) { // it does not last
 					placed++
-					next = append(next, d.tell(ConnectionEstablished{ID: a.ID, Server: a.Server})...)
-					next = append(next, d.tell(AttemptEnded{ID: a.ID, Server: a.Server, Outcome: OK, Final: true, LoadReport: EmptyLoadReport})...)
+					next = append(next, d.handle(ConnectionEstablished{ID: a.ID, Server: a.Server})...)
+					next = append(next, d.handle(AttemptEnded{ID: a.ID, Server: a.Server, Outcome: OK, Final: true, LoadReport: EmptyLoadReport})...)
 				}
 				actions = next
 			}
 		}
 		for i := range 40 {
-			follow(d.tell(Request{ID: fmt.Sprint(round, " ", i), Class: "c", Reconnecting: true, Deadline: d.now + 2*time.Second}))
+			follow(d.handle(Request{ID: fmt.Sprint(round, " ", i), Class: "c", Reconnecting: true, Deadline: d.now + 2*time.Second}))
 			for range 50 {
-				follow(d.run(d.now + 10*ms))
+				follow(d.runUntil(d.now + 10*ms))
 			}
 		}
 		if placed < 10 {
 			t.Errorf("round %d: %d of 40 returned clients placed at a fleet that is cold and empty", round, placed)
 		}
 		for range 300 { // what still waits is placed or refused
-			follow(d.run(d.now + 10*ms))
+			follow(d.runUntil(d.now + 10*ms))
 		}
-		d.run(d.now + 200*time.Second)
+		d.runUntil(d.now + 200*time.Second)
 		d.now += 5 * time.Hour
 	}
 }
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -9,15 +9,15 @@
 
 // A class that names no aim left its probes no time at all: every server was passed over
 // before it could answer, and the draws told nothing.
-func TestProbesWithoutAnAim(t *testing.T) {
-	set := settings()
+func TestProbeTimeoutWithoutLatencyObjective(t *testing.T) {
+	set := testSettings()
 	set.Classes[0].LatencyObjective = 0
-	d := newBench(t, set, "a", "b")
-	asked := pick[Probe](d.request("r"))
-	if got := d.run(d.now + 5*ms); len(got) != 0 {
+	d := newDriver(t, set, "a", "b")
+	asked := actionsOf[Probe](d.sendRequest("r"))
+	if got := d.runUntil(d.now + 5*ms); len(got) != 0 {
 		t.Errorf("after 5 ms: %v, want to wait for %s", got, asked[0].Server)
 	}
-	if got := pick[Attempt](d.answer(asked[0].Server, 0.1)); len(got) != 1 {
+	if got := actionsOf[Attempt](d.answerProbe(asked[0].Server, 0.1)); len(got) != 1 {
 		t.Errorf("placed by its answer: %v, want one attempt", got)
 	}
 }
@@ -25,44 +25,44 @@
 // A load counter that has wrapped was cut into a level below 0, as the whole number
 // overflowed, and its server passed as low. What is no number poisoned the usual load
 // and the load of one connection for good.
-func TestReportsThatCannotBe(t *testing.T) {
+func TestImplausibleReportsAreIgnored(t *testing.T) {
 	inf, nan := math.Inf(1), math.NaN()
-	for _, l := range []LoadReport{report(nan, 5), report(inf, 5), report(18446744073709551615, 5), report(1e300, 5),
-		report(inf, inf), report(0.3, nan), report(0.3, inf), report(0.3, 18446744073709551615),
-		report(-0.3, 5), report(math.Inf(-1), 5), report(0.3, -1)} {
+	for _, l := range []LoadReport{loadReport(nan, 5), loadReport(inf, 5), loadReport(18446744073709551615, 5), loadReport(1e300, 5),
+		loadReport(inf, inf), loadReport(0.3, nan), loadReport(0.3, inf), loadReport(0.3, 18446744073709551615),
+		loadReport(-0.3, 5), loadReport(math.Inf(-1), 5), loadReport(0.3, -1)} {
 		t.Run(fmt.Sprint(l.Utilization, " with ", l.Inflight), func(t *testing.T) {
-			d := newBench(t, settings(), "a", "b")
+			d := newDriver(t, testSettings(), "a", "b")
 			tell := func(s string, l LoadReport) []Action {
-				return d.tell(ProbeResult{Server: s, Outcome: OK, Latency: ms, LoadReport: l})
+				return d.handle(ProbeResult{Server: s, Outcome: OK, Latency: ms, LoadReport: l})
 			}
 			for i := range 20 {
-				d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
-				tell("a", report(0.5, 20))
-				tell("b", report(0.5, 20))
+				d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
+				tell("a", loadReport(0.5, 20))
+				tell("b", loadReport(0.5, 20))
 			}
-			usual := d.b.meanLoad
+			usual := d.balancer.meanLoad
 			tell("a", l)
-			if got := d.b.meanLoad; !(math.Abs(got-usual) < 0.2) {
+			if got := d.balancer.meanLoad; !(math.Abs(got-usual) < 0.2) {
 				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
 			}
 			if believed := l.Utilization >= 0 && l.Utilization < 1; !believed {
-				asked, actions := "", d.request("r")
-				for asked != "a" && len(pick[Probe](actions)) > 0 { // let it be drawn
-					if asked = pick[Probe](actions)[0].Server; asked == "a" {
+				asked, actions := "", d.sendRequest("r")
+				for asked != "a" && len(actionsOf[Probe](actions)) > 0 { // let it be drawn
+					if asked = actionsOf[Probe](actions)[0].Server; asked == "a" {
 						actions = tell("a", l)
 					} else {
-						actions = tell("b", report(0.95, 20))
+						actions = tell("b", loadReport(0.95, 20))
 					}
 				}
-				if got := pick[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.Utilization > 1 {
+				if got := actionsOf[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.Utilization > 1 {
 					t.Error("passed as low")
 				}
 			}
-			if w := d.b.addedLoad(d.b.trackRequest(Request{ID: "w", Class: "c"}), d.b.servers["a"]); !(w > 0.001) || w > 0.25 {
+			if w := d.balancer.addedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers["a"]); !(w > 0.001) || w > 0.25 {
 				t.Errorf("a connection weighs %v there", w)
 			}
-			tell("a", report(0.5, 20))
-			if got := d.b.estimatedLoad(d.b.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
+			tell("a", loadReport(0.5, 20))
+			if got := d.balancer.estimatedLoad(d.balancer.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
 				t.Errorf("load %v after a sound report of 0.5", got)
 			}
 		})
@@ -71,15 +71,15 @@
 
 // One client's hint of 1e300 became the mean, and for thousands of requests no other
 // connection weighed anything: what was placed did not show.
-func TestOneHugeHint(t *testing.T) {
+func TestOneHugeLoadHint(t *testing.T) {
 	for _, huge := range []float64{1e300, math.Inf(1), 1e18, math.NaN(), -1, 0} {
 		t.Run(fmt.Sprint(huge), func(t *testing.T) {
-			d := newBench(t, settings(), "a")
+			d := newDriver(t, testSettings(), "a")
 			hinted := func(id string, hint float64) float64 {
-				d.tell(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-				d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
-				w := d.b.addedLoad(d.b.requests[id], d.b.servers["a"])
-				d.tell(ClientGone{ID: id})
+				d.handle(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
+				d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
+				w := d.balancer.addedLoad(d.balancer.requests[id], d.balancer.servers["a"])
+				d.handle(ClientGone{ID: id})
 				return w
 			}
 			usual := 0.0
@@ -97,12 +97,12 @@
 }
 
 // Where it came first it was the mean itself, and the others still weighed nothing.
-func TestHugeHintComesFirst(t *testing.T) {
-	d := newBench(t, settings(), "a")
-	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.4, 40)})
+func TestFirstLoadHintIsHuge(t *testing.T) {
+	d := newDriver(t, testSettings(), "a")
+	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
-		d.tell(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-		if w := d.b.addedLoad(d.b.requests[fmt.Sprint("r", i)], d.b.servers["a"]); w < 0.0006 {
+		d.handle(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
+		if w := d.balancer.addedLoad(d.balancer.requests[fmt.Sprint("r", i)], d.balancer.servers["a"]); w < 0.0006 {
 			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
 		}
 	}
@@ -110,16 +110,16 @@
 
 // The first hint after a hundred connections without one counted 1/64 of itself as
 // the mean, and its connection weighed 64 times what it should.
-func TestFirstHint(t *testing.T) {
-	d := newBench(t, settings(), "a")
+func TestFirstLoadHintAfterManyWithout(t *testing.T) {
+	d := newDriver(t, testSettings(), "a")
 	for i := range 100 {
-		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
-	d.run(d.now + 20*time.Second)
-	d.answer("a", 0.5)
-	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: report(0.5, 100)})
-	d.tell(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
-	if w := d.b.addedLoad(d.b.requests["r"], d.b.servers["a"]); w > 0.01 {
+	d.runUntil(d.now + 20*time.Second)
+	d.answerProbe("a", 0.5)
+	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.5, 100)})
+	d.handle(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
+	if w := d.balancer.addedLoad(d.balancer.requests["r"], d.balancer.servers["a"]); w > 0.01 {
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
 }
@@ -128,14 +128,14 @@
 // once, although no request draws it and no note tells of it.
 // A full server serves nobody in time, but one below its capacity serves all: up
 // to nine tenths callers stay where they are, and new ones are placed up to 0.85.
-func TestBusyIsNotFull(t *testing.T) {
+func TestBusyServerIsNotFull(t *testing.T) {
 	for load, want := range map[float64]bool{0.8: true, 0.9: false} {
-		d := newBench(t, settings(), "a")
-		d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
-		if got := d.answer("a", load); len(pick[Migrate](got)) != 0 {
+		d := newDriver(t, testSettings(), "a")
+		d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		if got := d.answerProbe("a", load); len(actionsOf[Migrate](got)) != 0 {
 			t.Errorf("moved at load %.2f", load)
 		}
-		if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": load}); (at != "") != want {
+		if _, at := placeRequest(d, "r", map[string]float64{"a": load}); (at != "") != want {
 			t.Errorf("placed %v at load %.2f, want %v", at != "", load, want)
 		}
 	}
@@ -143,15 +143,15 @@
 
 // A server may be slow with cores to spare, as a noisy neighbour takes them. Where a
 // message takes longer than its aim, it serves nobody, and counts as full.
-func TestSlowIsFull(t *testing.T) {
+func TestSlowServerCountsAsFull(t *testing.T) {
 	for latency, want := range map[float64]bool{20: true, 300: false} {
-		d := newBench(t, settings(), "a")
-		d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		d := newDriver(t, testSettings(), "a")
+		d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
 		l := EmptyLoadReport
 		l.Utilization, l.LatencyMillis = 0.4, latency
-		d.request("r")
-		got := d.tell(ProbeResult{Server: "a", Latency: ms, LoadReport: l})
-		if sent := len(pick[Attempt](got)) > 0; sent != want {
+		d.sendRequest("r")
+		got := d.handle(ProbeResult{Server: "a", Latency: ms, LoadReport: l})
+		if sent := len(actionsOf[Attempt](got)) > 0; sent != want {
 			t.Errorf("sent there with a service time of %v ms: %v, want %v", latency, sent, want)
 		}
 	}
@@ -159,23 +159,23 @@
 
 // What was refused weighed on its server for a second all the same, as if it had been
 // placed: a server that could serve the next looked fuller with each.
-func TestWhatFailedWeighsNothing(t *testing.T) {
-	d := newBench(t, settings(), "a")
-	l := report(0.4, 8)
-	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	before := d.b.estimatedLoad(d.b.servers["a"])
+func TestFailedAttemptReleasesPlacedLoad(t *testing.T) {
+	d := newDriver(t, testSettings(), "a")
+	l := loadReport(0.4, 8)
+	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
+	before := d.balancer.estimatedLoad(d.balancer.servers["a"])
 	for i := range 5 {
 		id := string(rune('a' + i))
-		d.request(id)
-		if sent := pick[Attempt](d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})); len(sent) != 1 {
+		d.sendRequest(id)
+		if sent := actionsOf[Attempt](d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})); len(sent) != 1 {
 			t.Fatalf("request %d was not sent", i)
 		}
 		d.now += 20 * ms
-		d.tell(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, LoadReport: EmptyLoadReport})
-		d.run(d.now + time.Second/4)
+		d.handle(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, LoadReport: EmptyLoadReport})
+		d.runUntil(d.now + time.Second/4)
 	}
-	d.tell(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	if got := d.b.estimatedLoad(d.b.servers["a"]); got > before+0.01 {
+	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
+	if got := d.balancer.estimatedLoad(d.balancer.servers["a"]); got > before+0.01 {
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
 }
--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -8,45 +8,45 @@
 
 // The timer of a probe's patience, still to come when the connection stood,
 // was taken for the one that moves it.
-func TestOldTimersMoveNothing(t *testing.T) {
-	d := newBench(t, settings(), "a")
-	if _, at := drawsUntilPlaced(d, "r", map[string]float64{"a": 0.1}); at != "a" {
+func TestStaleTimerDoesNotMigrate(t *testing.T) {
+	d := newDriver(t, testSettings(), "a")
+	if _, at := placeRequest(d, "r", map[string]float64{"a": 0.1}); at != "a" {
 		t.Fatalf("placed on %q", at)
 	}
-	d.tell(ConnectionEstablished{ID: "r", Server: "a"})
-	if got := pick[Migrate](d.run(d.now + 5*time.Second)); len(got) != 0 {
+	d.handle(ConnectionEstablished{ID: "r", Server: "a"})
+	if got := actionsOf[Migrate](d.runUntil(d.now + 5*time.Second)); len(got) != 0 {
 		t.Errorf("%d moves, want none", len(got))
 	}
 }
 
-func TestConnectionsLeaveADrainingServer(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
+func TestDrainingServerIsEmptied(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
 	for i := range 5 {
-		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
-	d.list(ListDelta, ServerEntry{ID: "a", State: Draining})
-	if got := pick[Migrate](d.run(d.now + drainSpread + ms)); len(got) != 5 {
+	d.updateList(ListDelta, ServerEntry{ID: "a", State: Draining})
+	if got := actionsOf[Migrate](d.runUntil(d.now + drainSpread + ms)); len(got) != 5 {
 		t.Errorf("%d moves within the spread, want 5", len(got))
 	}
 }
 
 // Moves follow fresh reports only: an unanswered probe leaves the last one,
 // which may be long out of date.
-func TestMovesNeedAFreshReport(t *testing.T) {
+func TestRebalancingNeedsFreshReport(t *testing.T) {
 	for _, answered := range []bool{true, false} {
-		d := newBench(t, settings(), "a", "b")
+		d := newDriver(t, testSettings(), "a", "b")
 		for i := range 20 {
-			d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+			d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 		}
 		d.now += 10 * time.Second
-		d.b.servers["a"].reportedLoad = 3
+		d.balancer.servers["a"].reportedLoad = 3
 		var got []Action
 		if answered {
-			got = d.answer("a", 3)
+			got = d.answerProbe("a", 3)
 		} else {
-			got = d.tell(ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport})
+			got = d.handle(ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport})
 		}
-		if moves := len(pick[Migrate](got)); (moves > 0) != answered {
+		if moves := len(actionsOf[Migrate](got)); (moves > 0) != answered {
 			t.Errorf("answered %v: %d moves", answered, moves)
 		}
 	}
@@ -54,15 +54,15 @@
 
 // A server that is far above an easy fleet sheds callers sooner: on a calm day its
 // load swings over its capacity now and then, and others have room.
-func TestUnevenLoadIsRelieved(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
+func TestUnevenLoadIsRebalanced(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
 	for i := range 40 {
-		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	for range 16 {
-		d.answer("b", 0.4)
+		d.answerProbe("b", 0.4)
 	}
-	if got := pick[Migrate](d.answer("a", 0.87)); len(got) == 0 {
+	if got := actionsOf[Migrate](d.answerProbe("a", 0.87)); len(got) == 0 {
 		t.Error("nobody moved from a server at load 0.87 beside one at 0.40")
 	}
 }
@@ -70,16 +70,16 @@
 // A server that was overfull from the start is relieved in its first seconds: a
 // report from before is asked for again, the first round has the whole budget of
 // moves, and after it the server is looked at again, all without a draw.
-func TestOverfullFromTheStart(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
+func TestOverloadedServerIsRebalancedAfterTakeover(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
 	for i := range 40 {
-		d.tell(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
+		d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 	}
 	loads := []float64{0, 1.06, 1} // as its reports tell, one after the other
 	var moved []int
 	for d.now < 5*time.Second && len(moved) < len(loads) {
-		for range pick[Probe](d.run(d.now + maintenanceInterval)) {
-			moved = append(moved, len(pick[Migrate](d.answer("a", loads[len(moved)]))))
+		for range actionsOf[Probe](d.runUntil(d.now + maintenanceInterval)) {
+			moved = append(moved, len(actionsOf[Migrate](d.answerProbe("a", loads[len(moved)]))))
 		}
 	}
 	if len(moved) != 3 || moved[0] != 0 || moved[1] < 6 || moved[2] == 0 {
@@ -89,14 +89,14 @@
 
 // On sockets nothing tells of a server that grows full or slow but its reports, and
 // draws may not meet it for many seconds: one that holds connections is looked at.
-func TestServersInUseAreLookedAt(t *testing.T) {
-	d := newBench(t, settings(), "a", "b")
-	d.tell(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+func TestServersWithConnectionsAreProbed(t *testing.T) {
+	d := newDriver(t, testSettings(), "a", "b")
+	d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
 	probed := map[string]int{}
 	for range 40 {
-		for _, p := range pick[Probe](d.run(d.now + maintenanceInterval)) {
+		for _, p := range actionsOf[Probe](d.runUntil(d.now + maintenanceInterval)) {
 			probed[p.Server]++
-			d.answer(p.Server, 0.5)
+			d.answerProbe(p.Server, 0.5)
 		}
 	}
 	if probed["a"] < 5 || probed["a"] > 12 || probed["b"] != 0 {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -8,8 +8,8 @@
 )
 
 // rulesSettings has a class of every kind of effect.
-func rulesSettings() Settings {
-	set := settings()
+func allClassesSettings() Settings {
+	set := testSettings()
 	set.Connections.GroupAffinity = true
 	base := Class{LatencyObjective: 200 * ms, Deadline: time.Second, KeyWindow: 300 * ms}
 	set.Classes = nil
@@ -22,13 +22,13 @@
 	return set
 }
 
-func TestRulesHoldUnderRandomEvents(t *testing.T) {
+func TestReferenceModelHoldsUnderRandomEvents(t *testing.T) {
 	for seed := range uint64(8) {
-		w := newWorld(t, seed, rulesSettings())
+		w := newRandomEvents(t, seed, allClassesSettings())
 		for range 700 {
 			w.step()
 		}
-		w.pass(2 * time.Second)
+		w.advance(2 * time.Second)
 		if owed := w.book.Unanswered(); len(owed) > 0 {
 			t.Fatalf("seed %d: never answered: %v", seed, owed)
 		}
@@ -39,11 +39,11 @@
 func TestSameSeedSameActions(t *testing.T) {
 	var logs [2][]Action
 	for i := range logs {
-		w := newWorld(t, 7, rulesSettings())
+		w := newRandomEvents(t, 7, allClassesSettings())
 		for range 700 {
 			w.step()
 		}
-		logs[i] = w.log
+		logs[i] = w.actions
 	}
 	if !reflect.DeepEqual(logs[0], logs[1]) {
 		t.Error("two runs of one seed differ")
@@ -51,18 +51,18 @@
 }
 
 // What has ended leaves nothing behind.
-func TestNoStateOutlivesItsRequest(t *testing.T) {
-	w := newWorld(t, 3, rulesSettings())
+func TestEndedRequestsLeaveNoState(t *testing.T) {
+	w := newRandomEvents(t, 3, allClassesSettings())
 	for range 1000 {
 		w.step()
 	}
-	w.pass(2 * time.Second)
-	for i := range w.ids {
-		if j := w.requests[fmt.Sprint("r", i+1)]; j.open && !j.over {
-			w.end(j, OK)
+	w.advance(2 * time.Second)
+	for i := range w.requestCount {
+		if j := w.requests[fmt.Sprint("r", i+1)]; j.established && !j.answered {
+			w.endAttempt(j, OK)
 		}
 	}
-	b := w.d.b
+	b := w.driver.balancer
 	for _, s := range b.servers {
 		if len(s.waitingRequests) != 0 || len(s.connections) != 0 || s.State == Gone {
 			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waitingRequests), len(s.connections), s.State)
--- a/balance/world_test.go
+++ b/balance/world_test.go
@@ -11,45 +11,45 @@
 
 // world plays legal events at random against one Balancer and writes every one, and
 // every action, into the rules' book. It models no load.
-type world struct {
-	t        *testing.T
-	rng      *rand.Rand
-	set      Settings
-	d        *bench
-	book     *refmodel.Checker
-	requests map[string]*job
-	servers  map[string]*ServerEntry
-	probes   []string
-	ids      int
-	log      []Action
-	word     QuotaLease // the fleet's last
-	wordTo   time.Duration
-	into     map[string]int // attempts by zone in its half
+type randomEvents struct {
+	t            *testing.T
+	rng          *rand.Rand
+	settings     Settings
+	driver       *driver
+	book         *refmodel.Checker
+	requests     map[string]*trackedRequest
+	servers      map[string]*ServerEntry
+	probes       []string
+	requestCount int
+	actions      []Action
+	lease        QuotaLease // the fleet's last
+	leaseEndsAt  time.Duration
+	zoneAttempts map[string]int // attempts by zone in its half
 }
 
 // job is what the world has to know of a request to go on with it.
-type job struct {
+type trackedRequest struct {
 	Request
-	out      string // the server its attempt is at
-	attempts int
-	open     bool
-	over     bool
+	attemptServer string // the server its attempt is at
+	attemptCount  int
+	established   bool
+	answered      bool
 }
 
-func newWorld(t *testing.T, seed uint64, set Settings) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), set: set, requests: map[string]*job{},
+func newRandomEvents(t *testing.T, seed uint64, set Settings) *randomEvents {
+	w := &randomEvents{t: t, rng: rand.New(rand.NewPCG(seed, 1)), settings: set, requests: map[string]*trackedRequest{},
 		servers: map[string]*ServerEntry{}, book: refmodel.NewChecker(refmodel.Rules{AnswerGrace: set.Rules.AnswerGrace,
 			MaxAttempts: set.Limits.MaxAttempts, DrainGrace: set.Rules.DrainGrace, PromptLimit: 2 * set.Tick})}
-	w.d = newBench(t, set)
+	w.driver = newDriver(t, set)
 	for i := range 6 {
 		w.servers[fmt.Sprint("s", i)] = &ServerEntry{ID: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%2), Cell: i % 3}
 	}
-	w.list(ListFull)
+	w.updateList(ListFull)
 	return w
 }
 
 // ordered returns the servers' names in order.
-func (w *world) ordered() []string {
+func (w *randomEvents) serverIDs() []string {
 	var ids []string
 	for i := range 6 {
 		ids = append(ids, fmt.Sprint("s", i))
@@ -57,20 +57,20 @@
 	return ids
 }
 
-func (w *world) list(kind ListKind) {
+func (w *randomEvents) updateList(kind ListKind) {
 	var list []ServerEntry
-	for _, id := range w.ordered() {
+	for _, id := range w.serverIDs() {
 		s := w.servers[id]
-		w.book.NodeNotified(w.d.now, id, refmodel.ServerState(s.State), s.StartedAt)
+		w.book.NodeNotified(w.driver.now, id, refmodel.ServerState(s.State), s.StartedAt)
 		if kind == ListDelta || s.State != Gone {
 			list = append(list, *s)
 		}
 	}
-	w.check(w.d.list(kind, list...))
+	w.recordActions(w.driver.updateList(kind, list...))
 }
 
 // repeats is what the book has to know of a class.
-func (w *world) repeats(c Class) refmodel.Retries {
+func (w *randomEvents) repeatRules(c Class) refmodel.Retries {
 	r := refmodel.Retries{Forbidden: c.Idempotency == NonIdempotent}
 	if c.Idempotency == IdempotencyKeyed {
 		r.Within = c.KeyWindow
@@ -85,23 +85,23 @@
 }
 
 // check writes actions into the book and notes what they start.
-func (w *world) check(actions []Action) {
+func (w *randomEvents) recordActions(actions []Action) {
 	w.t.Helper()
-	w.log = append(w.log, actions...)
+	w.actions = append(w.actions, actions...)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case Attempt:
-			w.book.AttemptSent(w.d.now, a.ID, a.Server)
+			w.book.AttemptSent(w.driver.now, a.ID, a.Server)
 			j := w.requests[a.ID]
-			w.within(j.Constraint, w.servers[a.Server].Zone)
-			j.out = a.Server
-			j.attempts++
+			w.checkConstraints(j.Constraint, w.servers[a.Server].Zone)
+			j.attemptServer = a.Server
+			j.attemptCount++
 		case Reject:
-			w.book.RequestAnswered(w.d.now, a.ID, refmodel.Refused)
-			w.requests[a.ID].over = true
+			w.book.RequestAnswered(w.driver.now, a.ID, refmodel.Refused)
+			w.requests[a.ID].answered = true
 		case Fail:
-			w.book.RequestAnswered(w.d.now, a.ID, refmodel.Failed)
-			w.requests[a.ID].over = true
+			w.book.RequestAnswered(w.driver.now, a.ID, refmodel.Failed)
+			w.requests[a.ID].answered = true
 		case Probe:
 			if s := w.servers[a.Server]; s == nil {
 				w.t.Fatalf("probe of unknown server %s", a.Server)
@@ -119,37 +119,37 @@
 }
 
 // end ends a request's attempt, or its connection, with an outcome.
-func (w *world) end(j *job, o Outcome) {
-	server := j.out
-	j.out = ""
-	final := o == OK || j.open
+func (w *randomEvents) endAttempt(j *trackedRequest, o Outcome) {
+	server := j.attemptServer
+	j.attemptServer = ""
+	final := o == OK || j.established
 	switch {
-	case j.open:
+	case j.established:
 	case o == OK:
-		w.book.RequestAnswered(w.d.now, j.ID, refmodel.Served)
+		w.book.RequestAnswered(w.driver.now, j.ID, refmodel.Served)
 	case o == AtCapacity || o == ConnectFailed || o == NotSent:
-		w.book.AttemptEnded(w.d.now, j.ID, refmodel.NotRun)
+		w.book.AttemptEnded(w.driver.now, j.ID, refmodel.NotRun)
 	case o == Errored:
-		w.book.AttemptEnded(w.d.now, j.ID, refmodel.MayRun)
+		w.book.AttemptEnded(w.driver.now, j.ID, refmodel.MayRun)
 	default:
-		w.book.AttemptEnded(w.d.now, j.ID, refmodel.NoReply)
+		w.book.AttemptEnded(w.driver.now, j.ID, refmodel.NoReply)
 	}
-	j.over = final
-	w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: j.attempts - 1, Server: server, Outcome: o, Final: final, LoadReport: EmptyLoadReport}))
+	j.answered = final
+	w.recordActions(w.driver.handle(AttemptEnded{ID: j.ID, Attempt: j.attemptCount - 1, Server: server, Outcome: o, Final: final, LoadReport: EmptyLoadReport}))
 }
 
-func (w *world) step() {
+func (w *randomEvents) step() {
 	switch w.rng.IntN(12) {
 	case 0, 1, 2:
-		c := w.set.Classes[w.rng.IntN(len(w.set.Classes))]
-		w.ids++
-		q := Request{ID: fmt.Sprint("r", w.ids), Class: c.Name, Group: fmt.Sprint("g", w.rng.IntN(4)), Deadline: w.d.now + c.Deadline}
+		c := w.settings.Classes[w.rng.IntN(len(w.settings.Classes))]
+		w.requestCount++
+		q := Request{ID: fmt.Sprint("r", w.requestCount), Class: c.Name, Group: fmt.Sprint("g", w.rng.IntN(4)), Deadline: w.driver.now + c.Deadline}
 		if w.rng.IntN(3) == 0 {
 			q.Constraint = &ZoneConstraint{Zones: []ZoneShare{{"z0", float64(w.rng.IntN(3)) / 2}}, DefaultShare: float64(w.rng.IntN(3)) / 2}
 		}
-		w.requests[q.ID] = &job{Request: q}
-		w.book.RequestArrived(w.d.now, q.ID, q.Deadline, w.repeats(c))
-		w.check(w.d.tell(q))
+		w.requests[q.ID] = &trackedRequest{Request: q}
+		w.book.RequestArrived(w.driver.now, q.ID, q.Deadline, w.repeatRules(c))
+		w.recordActions(w.driver.handle(q))
 	case 3, 4, 5:
 		if n := len(w.probes); n > 0 {
 			i := w.rng.IntN(n)
@@ -161,23 +161,23 @@
 			if o != OK {
 				l = EmptyLoadReport
 			}
-			w.check(w.d.tell(ProbeResult{Server: id, Outcome: o, Latency: ms, LoadReport: l}))
+			w.recordActions(w.driver.handle(ProbeResult{Server: id, Outcome: o, Latency: ms, LoadReport: l}))
 		}
 	case 6, 7:
-		for i := range w.ids { // the oldest attempt out
+		for i := range w.requestCount { // the oldest attempt out
 			j := w.requests[fmt.Sprint("r", i+1)]
-			if j.out == "" {
+			if j.attemptServer == "" {
 				continue
 			}
 			switch o := Outcome(w.rng.IntN(8)); {
-			case j.open:
-				w.end(j, []Outcome{OK, Reset, Cancelled}[w.rng.IntN(3)])
+			case j.established:
+				w.endAttempt(j, []Outcome{OK, Reset, Cancelled}[w.rng.IntN(3)])
 			case o == OK && w.rng.IntN(2) == 0:
-				j.open = true
-				w.book.RequestAnswered(w.d.now, j.ID, refmodel.Served)
-				w.check(w.d.tell(ConnectionEstablished{ID: j.ID, Attempt: j.attempts - 1, Server: j.out}))
+				j.established = true
+				w.book.RequestAnswered(w.driver.now, j.ID, refmodel.Served)
+				w.recordActions(w.driver.handle(ConnectionEstablished{ID: j.ID, Attempt: j.attemptCount - 1, Server: j.attemptServer}))
 			default:
-				w.end(j, o)
+				w.endAttempt(j, o)
 			}
 			break
 		}
@@ -186,58 +186,58 @@
 		was := s.State
 		s.State = []ServerState{Ready, Ready, Draining, Gone}[w.rng.IntN(4)]
 		if s.State == Ready && was != Ready {
-			s.StartedAt = w.d.now
+			s.StartedAt = w.driver.now
 		}
-		w.list([]ListKind{ListDelta, ListFull}[w.rng.IntN(2)])
+		w.updateList([]ListKind{ListDelta, ListFull}[w.rng.IntN(2)])
 	case 9:
-		w.pass(time.Duration(w.rng.IntN(300)) * ms)
+		w.advance(time.Duration(w.rng.IntN(300)) * ms)
 	case 10:
-		if j := w.requests[fmt.Sprint("r", 1+w.rng.IntN(w.ids+1))]; j != nil && !j.over && !j.open {
-			w.leave(j)
+		if j := w.requests[fmt.Sprint("r", 1+w.rng.IntN(w.requestCount+1))]; j != nil && !j.answered && !j.established {
+			w.cancelRequest(j)
 		}
 	case 11:
-		if half := int64(w.d.now / time.Second); half > w.word.Period {
-			w.into = map[string]int{}
-			w.word.Period = half
+		if half := int64(w.driver.now / time.Second); half > w.lease.Period {
+			w.zoneAttempts = map[string]int{}
+			w.lease.Period = half
 		}
-		w.word.LeaseDuration, w.word.TokensExpireAt, w.word.RetryBudget = 800*ms, w.d.now+time.Second, 5
-		w.word.Zones = []ZoneQuota{{"z0", float64(w.rng.IntN(3)) / 2, w.rng.IntN(6) - 1}, {"z1", 1, -1}}
-		w.wordTo = w.d.now + w.word.LeaseDuration
-		w.check(w.d.tell(w.word))
+		w.lease.LeaseDuration, w.lease.TokensExpireAt, w.lease.RetryBudget = 800*ms, w.driver.now+time.Second, 5
+		w.lease.Zones = []ZoneQuota{{"z0", float64(w.rng.IntN(3)) / 2, w.rng.IntN(6) - 1}, {"z1", 1, -1}}
+		w.leaseEndsAt = w.driver.now + w.lease.LeaseDuration
+		w.recordActions(w.driver.handle(w.lease))
 	}
 }
 
 // leave has a request's client go at whatever stage it is: while it waits, is probed
 // for or is out. What was under way then may still be told, now or later.
-func (w *world) leave(j *job) {
-	server, try := j.out, j.attempts-1
-	j.out, j.over = "", true
-	w.book.ClientLeft(w.d.now, j.ID)
-	w.check(w.d.tell(ClientGone{ID: j.ID}))
+func (w *randomEvents) cancelRequest(j *trackedRequest) {
+	server, try := j.attemptServer, j.attemptCount-1
+	j.attemptServer, j.answered = "", true
+	w.book.ClientLeft(w.driver.now, j.ID)
+	w.recordActions(w.driver.handle(ClientGone{ID: j.ID}))
 	if server == "" {
 		return
 	}
 	if w.rng.IntN(2) == 0 {
-		w.check(w.d.tell(ConnectionEstablished{ID: j.ID, Attempt: try, Server: server}))
+		w.recordActions(w.driver.handle(ConnectionEstablished{ID: j.ID, Attempt: try, Server: server}))
 	}
 	for range w.rng.IntN(3) {
 		o := Outcome(w.rng.IntN(8))
-		w.check(w.d.tell(AttemptEnded{ID: j.ID, Attempt: try, Server: server, Outcome: o, Final: o == OK, LoadReport: EmptyLoadReport}))
+		w.recordActions(w.driver.handle(AttemptEnded{ID: j.ID, Attempt: try, Server: server, Outcome: o, Final: o == OK, LoadReport: EmptyLoadReport}))
 	}
 }
 
 // pass lets time pass. At its deadline an attempt that is out times out.
-func (w *world) pass(span time.Duration) {
-	until := w.d.now + span
-	for w.d.now < until {
-		w.check(w.d.run(w.d.now + ms))
-		for i := range w.ids {
+func (w *randomEvents) advance(span time.Duration) {
+	until := w.driver.now + span
+	for w.driver.now < until {
+		w.recordActions(w.driver.runUntil(w.driver.now + ms))
+		for i := range w.requestCount {
 			j := w.requests[fmt.Sprint("r", i+1)]
-			if j.out != "" && !j.open && w.d.now >= j.Deadline {
-				w.end(j, TimedOut)
+			if j.attemptServer != "" && !j.established && w.driver.now >= j.Deadline {
+				w.endAttempt(j, TimedOut)
 			}
 		}
-		w.book.CheckDeadlines(w.d.now)
-		w.check(nil)
+		w.book.CheckDeadlines(w.driver.now)
+		w.recordActions(nil)
 	}
 }
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -26,7 +26,7 @@
 
 // host keeps the instances of this process. A stopped instance stays as nil,
 // so that what was in flight for it is told from an instance never started.
-type host struct {
+type adapter struct {
 	instances map[int]*balance.Balancer
 	actions   []balance.Action
 	reply     []byte
@@ -35,7 +35,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	reader, writer := simproto.NewReader(in), bufio.NewWriter(out)
-	h := host{instances: map[int]*balance.Balancer{}}
+	h := adapter{instances: map[int]*balance.Balancer{}}
 	var batch simproto.Batch
 	for {
 		switch err := reader.Read(&batch); {
@@ -61,7 +61,7 @@
 }
 
 // deliver hands one delivery to its instance and appends what it answers.
-func (h *host) deliver(batch *simproto.Batch, d *simproto.Delivery) error {
+func (h *adapter) deliver(batch *simproto.Batch, d *simproto.Delivery) error {
 	switch {
 	case d.Start != nil:
 		h.start(d)
@@ -82,7 +82,7 @@
 }
 
 // start makes an instance. Settings that it can't work with are its fault line.
-func (h *host) start(d *simproto.Delivery) {
+func (h *adapter) start(d *simproto.Delivery) {
 	h.instances[d.Instance] = nil
 	err := d.Start.Err
 	if err == nil {
@@ -96,7 +96,7 @@
 }
 
 // handle runs one event; a panic becomes the instance's fault line.
-func (h *host) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
+func (h *adapter) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
 	defer func() {
 		if p := recover(); p != nil {
 			h.reply = simproto.AppendError(h.reply, d.Instance, fmt.Sprint(p))
--- a/cmd/simadapter/main_test.go
+++ b/cmd/simadapter/main_test.go
@@ -16,7 +16,7 @@
 		strings.Join(lines, "\n") + "\n" + `{"cmd":"OverToYou"}` + "\n"
 }
 
-func TestRun(t *testing.T) {
+func TestAnswersBatches(t *testing.T) {
 	input := batch("1", `{"cmd":"Init","who":4,"entropy":1,"env":`+env+`}`, list+`{"cmd":"Update","who":4,"mode":"C","stamp":1,"table":0}`) +
 		batch("2", `{"cmd":"Demand","who":4,"ref":"c:a","grade":"chat","deadline":4}`) +
 		batch("3", `{"cmd":"StatusBack","who":4,"server":"s.a","rc":1,"lag":0.001,"report":{"x0":0.1}}`) +
@@ -34,7 +34,7 @@
 	}
 }
 
-func TestFaults(t *testing.T) {
+func TestReportsFaults(t *testing.T) {
 	var out bytes.Buffer
 	err := run(strings.NewReader(batch("7", `{"cmd":"Abandoned","who":9,"ref":"c:a"}`)), &out)
 	if err == nil || !strings.Contains(err.Error(), "batch 7") || !strings.Contains(err.Error(), "Abandoned") {
