--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -23,19 +23,19 @@
 	listed func(n int)
 }
 
-func (f *fleet) Listed(u discovery.Update) {
+func (f *fleet) UpdateEndpoints(u discovery.Update) {
 	if mutation.Enabled("drain") {
-		for i := range u.Entries {
-			if u.Entries[i].State == balance.Draining {
-				u.Entries[i].State = balance.Ready
+		for i := range u.Endpoints {
+			if u.Endpoints[i].State == balance.Draining {
+				u.Endpoints[i].State = balance.Ready
 			}
 		}
 	}
 	if u.Kind != balance.ListFailed {
-		f.hops.Update(u.Kind != balance.ListDelta, u.Entries, time.Now())
+		f.hops.Update(u.Kind != balance.ListDelta, u.Endpoints, time.Now())
 		f.listed(f.hops.EndpointCount())
 	}
-	f.core.UpdateEndpoints(u.List())
+	f.core.UpdateEndpoints(u.ListUpdate())
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
 		f.once.Do(func() { close(f.known) })
 	}
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -21,7 +21,7 @@
 	core   *dispatch.EventLoop
 	hops   *upstream.Pool
 	server *downstream.Server
-	watch  *discovery.Watch
+	watch  *discovery.Watcher
 	book   *metrics.Registry
 
 	mu      sync.Mutex
@@ -70,7 +70,7 @@
 	next.Settings.Processes = c.Settings.Processes // not the file's to say
 	l.take(next)
 	l.core.UpdateSettings(next.Settings)
-	l.watch.Follow(next.Discovery)
+	l.watch.SetAddress(next.Discovery)
 	l.book.ConfigsAccepted.Add(1)
 	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery, "classes", len(next.Settings.Classes))
 }
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	room := shareOut(c, own, place)
-	limits := downstream.Limits{Sockets: room.callers(len(c.Known.Entries)), Pause: pause(c.Settings.Limits)}
+	limits := downstream.Limits{Sockets: room.callers(len(c.Known.Endpoints)), Pause: pause(c.Settings.Limits)}
 	other := &neighbour{place: place}
 	if place != nil {
 		limits.Elsewhere = other.elsewhere
@@ -128,7 +128,7 @@
 	place.SetServing(true) // before anybody is told so
 	served := make(chan error, 1)
 	parts.Go(func() { served <- server.Serve(listener) })
-	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Entries))
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Endpoints))
 
 	<-terminate.Done()
 	turnAway()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -37,7 +37,7 @@
 		t.Fatal(err)
 	}
 	if c.Name != "n3" || c.Listen != "127.0.0.5:7070" || c.Discovery != "127.2.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
-		c.Limits != (Limits{1, 2048, 4096}) || c.Known.Generation != 41 || len(c.Known.Entries) != 1 ||
+		c.Limits != (Limits{1, 2048, 4096}) || c.Known.Generation != 41 || len(c.Known.Endpoints) != 1 ||
 		c.Settings.Classes[0] != (balance.Class{Name: "feed", Deadline: 1800 * time.Millisecond}) {
 		t.Errorf("got %+v", c)
 	}
@@ -127,7 +127,7 @@
 		}},
 		{`"tiers":[]`, `"tiers":["x"],"further":{}`, nil, func(c Config) bool { return true }},
 		{`{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}`, ``, nil,
-			func(c Config) bool { return len(c.Known.Entries) == 1 }},
+			func(c Config) bool { return len(c.Known.Endpoints) == 1 }},
 	} {
 		_, next, fixed, err := reload(t, whole, strings.Replace(whole, tt.old, tt.new, 1))
 		if err != nil || !slices.Equal(fixed, tt.fixed) || !tt.want(next) {
--- a/internal/config/stored_test.go
+++ b/internal/config/stored_test.go
@@ -20,7 +20,7 @@
 	}
 	want := Config{Name: "n3", Listen: "127.0.0.4:7070", Discovery: "127.2.0.1:8500", AdminAddr: "127.0.0.4:15000",
 		Seed: 0x8c1f30d27a5be964, Limits: Limits{Cores: 1.5, MemoryMB: 2048, Sockets: 4096},
-		Known: discovery.Update{Kind: balance.ListFull, Generation: 41, Entries: []discovery.Entry{{Addr: "127.1.0.18:7070",
+		Known: discovery.Update{Kind: balance.ListFull, Generation: 41, Endpoints: []discovery.Endpoint{{Addr: "127.1.0.18:7070",
 			ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3, StartedAt: 7 * time.Second}}}},
 		Settings: balance.Settings{Instances: 9, Limits: balance.Limits{MaxAttempts: 6},
 			Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: 1800 * time.Millisecond}}}}
--- a/internal/discovery/crossing_test.go
+++ b/internal/discovery/crossing_test.go
@@ -20,7 +20,7 @@
 // barrier is a sink that holds its Watch at what it is told until the test takes it.
 type barrier chan Update
 
-func (b barrier) Listed(u Update) { b <- u }
+func (b barrier) UpdateEndpoints(u Update) { b <- u }
 
 // A move in the middle of whatever is under way: what the old service has said by then is
 // all of it that is told, its end is no failure, and the new one is asked once, for all.
@@ -66,7 +66,7 @@
 			defer func() { cancel(); <-ended }()
 			w.Subscribe()
 			if tt.before {
-				w.Follow(next) // Run still stands at the known list
+				w.SetAddress(next) // Run still stands at the known list
 			}
 			<-s
 			if !tt.before {
@@ -76,7 +76,7 @@
 						t.Errorf("told %+v, want kind %d", u, want)
 					}
 				}
-				w.Follow(next)
+				w.SetAddress(next)
 			}
 			for _, want := range []balance.ListKind{balance.ListFull, balance.ListFailed} {
 				if u := <-s; u.Kind != want || u.Generation != 7 {
--- a/internal/discovery/entry.go
+++ b/internal/discovery/entry.go
@@ -13,7 +13,7 @@
 )
 
 // Entry is one next hop and where it is.
-type Entry struct {
+type Endpoint struct {
 	balance.ServerEntry
 	Addr string
 }
@@ -22,13 +22,13 @@
 type Update struct {
 	Kind       balance.ListKind
 	Generation int64
-	Entries    []Entry
+	Endpoints  []Endpoint
 }
 
 // List returns the update as the module takes it.
-func (u Update) List() balance.ListUpdate {
+func (u Update) ListUpdate() balance.ListUpdate {
 	l := balance.ListUpdate{Kind: u.Kind}
-	for _, e := range u.Entries {
+	for _, e := range u.Endpoints {
 		l.Entries = append(l.Entries, e.ServerEntry)
 	}
 	return l
@@ -81,27 +81,27 @@
 			slog.Warn("roster entry skipped", "err", err)
 			continue
 		}
-		u.Entries = append(u.Entries, e)
+		u.Endpoints = append(u.Endpoints, e)
 	}
 	return u, nil
 }
 
-func entry(raw json.RawMessage) (Entry, error) {
+func entry(raw json.RawMessage) (Endpoint, error) {
 	var i instance
 	wrong := json.Unmarshal(raw, &i)
 	state, ok := lifecycles[i.Lifecycle]
 	switch {
 	case wrong != nil && (!ok || state == balance.Ready): // of one that leaves the rest tells nothing
-		return Entry{}, fmt.Errorf("entry %.80q: %w", raw, wrong)
+		return Endpoint{}, fmt.Errorf("entry %.80q: %w", raw, wrong)
 	case !ok || i.ID == "":
-		return Entry{}, fmt.Errorf("entry %.80q: unknown lifecycle or no instanceId", raw)
+		return Endpoint{}, fmt.Errorf("entry %.80q: unknown lifecycle or no instanceId", raw)
 	}
 	if _, _, err := net.SplitHostPort(i.HostPort); err != nil {
 		if state == balance.Ready {
-			return Entry{}, fmt.Errorf("entry %s: hostPort: %w", i.ID, err)
+			return Endpoint{}, fmt.Errorf("entry %s: hostPort: %w", i.ID, err)
 		}
 		i.HostPort = "" // it stays at the address that is known
 	}
-	return Entry{Addr: i.HostPort, ServerEntry: balance.ServerEntry{ID: i.ID, Zone: i.Zone, Cell: i.Cell,
+	return Endpoint{Addr: i.HostPort, ServerEntry: balance.ServerEntry{ID: i.ID, Zone: i.Zone, Cell: i.Cell,
 		State: state, StartedAt: time.Duration(i.StartedMs) * time.Millisecond}}, nil
 }
--- a/internal/discovery/roster.go
+++ b/internal/discovery/roster.go
@@ -13,13 +13,13 @@
 
 // Sink is told what the roster says, in order.
 type Sink interface {
-	Listed(u Update)
+	UpdateEndpoints(u Update)
 }
 
 // Watch follows discovery. It makes one call at a time, each when it is asked to: what
 // fails is told, and somebody else decides when to ask again. A call that is late is told
 // as failed and goes on: the next one is made beside it, and the first whole list wins.
-type Watch struct {
+type Watcher struct {
 	// Dial connects to an address by a deadline, over TCP unless a test has another way.
 	// Set before Run.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
@@ -41,13 +41,13 @@
 }
 
 // New returns a Watch of the discovery service at addr.
-func New(addr string, sink Sink) *Watch {
-	return &Watch{Dial: dial, addr: addr, asked: addr, sink: sink, news: make(chan news),
+func New(addr string, sink Sink) *Watcher {
+	return &Watcher{Dial: dial, addr: addr, asked: addr, sink: sink, news: make(chan news),
 		want: make(chan struct{}, 1), moved: make(chan struct{}, 1)}
 }
 
 // Subscribe asks for a watch.
-func (w *Watch) Subscribe() { note(w.want) }
+func (w *Watcher) Subscribe() { note(w.want) }
 
 // note leaves word on a channel that holds one.
 func note(c chan struct{}) {
@@ -59,7 +59,7 @@
 
 // Follow goes over to the discovery service at addr at once. The list stays; the
 // end of the old watch is no failure and is not told.
-func (w *Watch) Follow(addr string) {
+func (w *Watcher) SetAddress(addr string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if addr != w.addr {
@@ -70,13 +70,13 @@
 
 // Run serves subscriptions until ctx ends. It starts with the list that the
 // node had last, which may be old.
-func (w *Watch) Run(ctx context.Context, known Update) {
+func (w *Watcher) Run(ctx context.Context, known Update) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer w.parts.Wait()
 	defer cancel()
 	known.Kind = balance.ListCached
 	w.from = known.Generation
-	w.sink.Listed(known)
+	w.sink.UpdateEndpoints(known)
 	for {
 		want, late := w.want, (<-chan time.Time)(nil)
 		if len(w.calls) > 0 {
@@ -102,7 +102,7 @@
 }
 
 // address returns where to ask. Who asks there has done what was left to do of a move.
-func (w *Watch) address() string {
+func (w *Watcher) address() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	select {
@@ -113,7 +113,7 @@
 }
 
 // move goes over to another address, unless what is under way is there already.
-func (w *Watch) move(ctx context.Context) {
+func (w *Watcher) move(ctx context.Context) {
 	addr := w.address()
 	if slices.ContainsFunc(w.calls, func(c *call) bool { return c.addr == addr }) {
 		return
@@ -123,7 +123,7 @@
 }
 
 // begin makes a call. None stays at another address.
-func (w *Watch) begin(ctx context.Context) {
+func (w *Watcher) begin(ctx context.Context) {
 	if addr := w.address(); addr != w.asked {
 		// Generations of two services need not be of one count: asked from the old one's,
 		// the new one might leave changes out.
@@ -140,7 +140,7 @@
 }
 
 // keep ends all calls but one.
-func (w *Watch) keep(one *call) {
+func (w *Watcher) keep(one *call) {
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
 		if c != one {
 			c.stop()
@@ -150,7 +150,7 @@
 }
 
 // take handles what a call says, unless it has been ended since.
-func (w *Watch) take(n news) {
+func (w *Watcher) take(n news) {
 	i := slices.Index(w.calls, n.call)
 	if i < 0 {
 		return
@@ -172,13 +172,13 @@
 		w.keep(c)
 		c.late, c.failed, c.listed = nil, false, true
 		w.from, w.after = n.update.Generation, afterWatch
-		w.sink.Listed(n.update)
+		w.sink.UpdateEndpoints(n.update)
 	}
 }
 
 // fail tells of a failure, once for each call. Only who is told of it asks again: what was
 // asked for before is void, or two calls would follow without a pause.
-func (w *Watch) fail(c *call, err error) {
+func (w *Watcher) fail(c *call, err error) {
 	if c.failed {
 		return
 	}
@@ -188,11 +188,11 @@
 	}
 	w.forget()
 	slog.Warn("watch ended", "discovery", c.addr, "err", err)
-	w.sink.Listed(Update{Kind: balance.ListFailed, Generation: w.from})
+	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.from})
 }
 
 // forget voids what was asked for.
-func (w *Watch) forget() {
+func (w *Watcher) forget() {
 	select {
 	case <-w.want:
 	default:
--- a/internal/discovery/roster_test.go
+++ b/internal/discovery/roster_test.go
@@ -22,29 +22,29 @@
 )
 
 func TestDecode(t *testing.T) {
-	s1 := Entry{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3,
+	s1 := Endpoint{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3,
 		StartedAt: 1796122725 * time.Second}}
-	s2 := Entry{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining}}
-	gone := Entry{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
-	s9 := Entry{ServerEntry: balance.ServerEntry{ID: "s9", State: balance.Draining}}
+	s2 := Endpoint{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{ID: "s2", Zone: "b", State: balance.Draining}}
+	gone := Endpoint{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
+	s9 := Endpoint{ServerEntry: balance.ServerEntry{ID: "s9", State: balance.Draining}}
 	tests := []struct {
 		name, raw string
 		want      Update // no generation: malformed as a whole
 	}{
-		{"whole list", `{"generation":41,"reset":true,"instances":[` + one + "," + two + `]}`, Update{balance.ListFull, 41, []Entry{s1, s2}}},
-		{"changes", `{"generation":42,"instances":[{"instanceId":"s3","lifecycle":"left"}]}`, Update{balance.ListDelta, 42, []Entry{gone}}},
+		{"whole list", `{"generation":41,"reset":true,"instances":[` + one + "," + two + `]}`, Update{balance.ListFull, 41, []Endpoint{s1, s2}}},
+		{"changes", `{"generation":42,"instances":[{"instanceId":"s3","lifecycle":"left"}]}`, Update{balance.ListDelta, 42, []Endpoint{gone}}},
 		{"changes with every field", `{"generation":42,"reset":false,"instances":[` + one + "," + two + `,{"instanceId":"s3","hostPort":"127.1.0.3:7070",` +
 			`"zone":"c","machineType":"m","cell":4,"lifecycle":"left","weight":2,"startedAtMs":7}]}`,
-			Update{balance.ListDelta, 42, []Entry{s1, s2, {Addr: "127.1.0.3:7070", ServerEntry: balance.ServerEntry{ID: "s3", Zone: "c", Cell: 4,
+			Update{balance.ListDelta, 42, []Endpoint{s1, s2, {Addr: "127.1.0.3:7070", ServerEntry: balance.ServerEntry{ID: "s3", Zone: "c", Cell: 4,
 				State: balance.Gone, StartedAt: 7 * time.Millisecond}}}}},
 		{"nothing", `{"generation":42,"reset":false,"instances":[]}`, Update{balance.ListDelta, 42, nil}},
-		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
-		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
-		{"no address", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
-		{"no object", `{"generation":43,"instances":[7,null,"x",` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
-		{"wrong type", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s2}}},
-		{"leaves, without an address", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s9, s2}}},
-		{"leaves, wrong type", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Entry{s9, s2}}},
+		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no address", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no object", `{"generation":43,"instances":[7,null,"x",` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"wrong type", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"leaves, without an address", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
+		{"leaves, wrong type", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
 		{"no generation", `{"instances":[]}`, Update{}},
 		{"whole list without instances", `{"generation":44,"reset":true}`, Update{}},
 		{"no JSON", `{`, Update{}},
@@ -61,7 +61,7 @@
 
 type sink chan Update
 
-func (s sink) Listed(u Update) { s <- u }
+func (s sink) UpdateEndpoints(u Update) { s <- u }
 
 func (s sink) next(t *testing.T) Update {
 	t.Helper()
@@ -96,7 +96,7 @@
 }
 
 // start runs a Watch against a discovery that answers its calls one by one.
-func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watch, sink) {
+func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watcher, sink) {
 	t.Helper()
 	addr := discovery(t, calls...)
 	s := make(sink, 16)
@@ -163,12 +163,12 @@
 	if u := s.next(t); u.Generation != 43 {
 		t.Fatalf("got %+v", u)
 	}
-	w.Follow(discovery(t, func(conn net.Conn, request string) {
+	w.SetAddress(discovery(t, func(conn net.Conn, request string) {
 		requests <- request
 		fmt.Fprint(conn, head)
 		chunk(conn, `{"generation":7,"reset":true,"instances":[`+one+"]}\n")
 	}))
-	if u := s.next(t); u.Kind != balance.ListFull || u.Generation != 7 || len(u.Entries) != 1 {
+	if u := s.next(t); u.Kind != balance.ListFull || u.Generation != 7 || len(u.Endpoints) != 1 {
 		t.Errorf("got %+v, want the new list", u)
 	}
 	if r := <-requests; !strings.Contains(r, "from=0 ") {
--- a/internal/refmodel/list_clock_test.go
+++ b/internal/refmodel/list_clock_test.go
@@ -158,7 +158,7 @@
 				f := d.follow(ctx, t, "n", seed, asked(300))
 				time.Sleep(20 * time.Second)
 				hup := time.Now()
-				f.watch.Follow("discovery:2")
+				f.watch.SetAddress("discovery:2")
 				time.Sleep(10 * time.Second)
 				took := f.whole(hup).Sub(hup)
 				if took <= 0 || took > 4*time.Second-wait || len(d.since("n", hup.Add(-1))) != 2 {
--- a/internal/refmodel/list_discovery_test.go
+++ b/internal/refmodel/list_discovery_test.go
@@ -170,18 +170,18 @@
 // follower is what of a node follows the list.
 type follower struct {
 	core  *dispatch.EventLoop
-	watch *discovery.Watch
+	watch *discovery.Watcher
 
 	mu   sync.Mutex
 	told []discovery.Update
 	at   []time.Time
 }
 
-func (f *follower) Listed(u discovery.Update) {
+func (f *follower) UpdateEndpoints(u discovery.Update) {
 	f.mu.Lock()
 	f.told, f.at = append(f.told, u), append(f.at, time.Now())
 	f.mu.Unlock()
-	f.core.UpdateEndpoints(u.List())
+	f.core.UpdateEndpoints(u.ListUpdate())
 }
 
 func (*follower) Probe(string) {}
--- a/internal/refmodel/list_return_test.go
+++ b/internal/refmodel/list_return_test.go
@@ -122,7 +122,7 @@
 				d.hush()
 				time.Sleep(length + ms)
 				hup := time.Now()
-				f.watch.Follow("discovery:2")
+				f.watch.SetAddress("discovery:2")
 				time.Sleep(10 * time.Second)
 				calls := d.since("n", hup.Add(-1))
 				took := f.whole(hup).Sub(hup)
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -124,10 +124,10 @@
 				r.parts.Go(func() { core.Run(ctx) })
 				u := discovery.Update{Kind: balance.ListFull}
 				for how := range answerAfter {
-					u.Entries = append(u.Entries, discovery.Entry{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
+					u.Endpoints = append(u.Endpoints, discovery.Endpoint{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
 				}
-				hops.Update(true, u.Entries, time.Now())
-				core.UpdateEndpoints(u.List())
+				hops.Update(true, u.Endpoints, time.Now())
+				core.UpdateEndpoints(u.ListUpdate())
 				r.parts.Go(func() { _ = server.Serve(door) })
 				var callers []string
 				for i := range 60 {
--- a/internal/refmodel/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -39,7 +39,7 @@
 }
 
 // instances words entries as discovery has them.
-func instances(entries ...discovery.Entry) string {
+func instances(entries ...discovery.Endpoint) string {
 	var list []string
 	for _, e := range entries {
 		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,"lifecycle":%q,"startedAtMs":%d}`,
@@ -49,7 +49,7 @@
 }
 
 // changed has the watches told of changes.
-func (d *board) changed(entries ...discovery.Entry) {
+func (d *board) changed(entries ...discovery.Endpoint) {
 	d.s.mu.Lock()
 	defer d.s.mu.Unlock()
 	for _, w := range d.watches {
@@ -86,7 +86,7 @@
 		}
 		return
 	}
-	var all []discovery.Entry
+	var all []discovery.Endpoint
 	for _, f := range d.s.feeds {
 		all = append(all, f.entry)
 	}
@@ -124,14 +124,14 @@
 	n *node
 }
 
-func (k sink) Listed(u discovery.Update) {
+func (k sink) UpdateEndpoints(u discovery.Update) {
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
 		k.s.note(func(b *refmodel.Checker, now time.Duration) {
-			for _, e := range u.Entries {
+			for _, e := range u.Endpoints {
 				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), 0)
 			}
 		})
-		k.n.hops.Update(u.Kind == balance.ListFull, u.Entries, time.Now())
+		k.n.hops.Update(u.Kind == balance.ListFull, u.Endpoints, time.Now())
 	}
-	k.n.core.UpdateEndpoints(u.List())
+	k.n.core.UpdateEndpoints(u.ListUpdate())
 }
--- a/internal/refmodel/scene_feed_test.go
+++ b/internal/refmodel/scene_feed_test.go
@@ -19,7 +19,7 @@
 type feed struct {
 	id    string
 	conns map[net.Conn]bool // that stand
-	entry discovery.Entry
+	entry discovery.Endpoint
 }
 
 // attempt is the node's end of a connection to a feed server. An attempt is out until
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -14,7 +14,7 @@
 	"coralrelay/internal/refmodel"
 )
 
-func (s *scene) tell(kind balance.ListKind, entries ...discovery.Entry) {
+func (s *scene) tell(kind balance.ListKind, entries ...discovery.Endpoint) {
 	s.note(func(b *refmodel.Checker, now time.Duration) {
 		for _, e := range entries {
 			started := e.StartedAt
@@ -102,7 +102,7 @@
 // drain has a server drain that is ready, if one is.
 func (s *scene) drain() {
 	s.mu.Lock()
-	var told []discovery.Entry
+	var told []discovery.Endpoint
 	for i := range len(s.feeds) {
 		if f := s.feeds[fmt.Sprint("s", i)]; f.entry.State == balance.Ready && len(told) == 0 {
 			f.entry.State = balance.Draining
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -30,7 +30,7 @@
 }
 
 // start starts a process, which is told what the last one was.
-func (s *scene) start(list ...discovery.Entry) *node {
+func (s *scene) start(list ...discovery.Endpoint) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
 	n.hops = upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
@@ -62,10 +62,10 @@
 	return n
 }
 
-func (n *node) tell(kind balance.ListKind, entries []discovery.Entry) {
-	u := discovery.Update{Kind: kind, Entries: entries}
+func (n *node) tell(kind balance.ListKind, entries []discovery.Endpoint) {
+	u := discovery.Update{Kind: kind, Endpoints: entries}
 	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
-	n.core.UpdateEndpoints(u.List())
+	n.core.UpdateEndpoints(u.ListUpdate())
 }
 
 // end lets a process end: at once, or as one that is replaced.
@@ -94,7 +94,7 @@
 // replace has a successor take over from the node, which takes its time to end.
 func (s *scene) replace() {
 	s.mu.Lock()
-	var list []discovery.Entry
+	var list []discovery.Endpoint
 	for _, f := range s.feeds {
 		list = append(list, f.entry)
 	}
--- a/internal/refmodel/scene_test.go
+++ b/internal/refmodel/scene_test.go
@@ -127,10 +127,10 @@
 		s.set.Classes = append(s.set.Classes, c)
 		s.count.AddClasses(c.Name)
 	}
-	var list []discovery.Entry
+	var list []discovery.Endpoint
 	for i := range feeds {
 		f := &feed{id: fmt.Sprint("s", i), conns: map[net.Conn]bool{}}
-		f.entry = discovery.Entry{Addr: f.id, ServerEntry: balance.ServerEntry{ID: f.id, Zone: fmt.Sprint("z", i%2), Cell: i % 3}}
+		f.entry = discovery.Endpoint{Addr: f.id, ServerEntry: balance.ServerEntry{ID: f.id, Zone: fmt.Sprint("z", i%2), Cell: i % 3}}
 		s.feeds[f.id] = f
 		list = append(list, f.entry)
 	}
--- a/internal/upstream/crossing_test.go
+++ b/internal/upstream/crossing_test.go
@@ -97,9 +97,9 @@
 
 // A drain is told, or the deadline comes, while the dial is under way: nothing is sent.
 func TestOverInTheDial(t *testing.T) {
-	leaving := discovery.Entry{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}}
+	leaving := discovery.Endpoint{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}}
 	for name, over := range map[string]func(h *Pool){
-		"drains":   func(h *Pool) { h.Update(false, []discovery.Entry{leaving}, time.Now().Add(-150*time.Millisecond)) },
+		"drains":   func(h *Pool) { h.Update(false, []discovery.Endpoint{leaving}, time.Now().Add(-150*time.Millisecond)) },
 		"gone":     func(h *Pool) { h.Update(true, nil, time.Now().Add(-time.Second)) },
 		"deadline": func(*Pool) { time.Sleep(time.Second) }, // of the bubble's time
 	} {
@@ -108,7 +108,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				h, w := New(ctx, Limits{DrainGrace: 300 * time.Millisecond}), make(watcher, 16)
 				h.SetObserver(w)
-				h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: "s1"}}, time.Now())
+				h.Update(true, []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: "s1"}}, time.Now())
 				near, far := net.Pipe()
 				dialled, let := make(chan struct{}), make(chan struct{})
 				h.Dial = func(context.Context, string, time.Time) (net.Conn, error) {
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -81,7 +81,7 @@
 func (h *Pool) SetObserver(w Observer) { h.watch = w }
 
 // Update takes what the roster has told.
-func (h *Pool) Update(full bool, entries []discovery.Entry, now time.Time) {
+func (h *Pool) Update(full bool, entries []discovery.Endpoint, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
--- a/internal/upstream/nexthop_test.go
+++ b/internal/upstream/nexthop_test.go
@@ -82,7 +82,7 @@
 	t.Cleanup(cancel)
 	h, w := New(ctx, Limits{ConnectTimeout: patience, ProbeTimeout: 300 * time.Millisecond, DrainGrace: 300 * time.Millisecond}), make(watcher, 16)
 	h.SetObserver(w)
-	h.Update(true, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
+	h.Update(true, []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: addr}}, time.Now())
 	return h, w, addr
 }
 
@@ -160,7 +160,7 @@
 			t.Errorf("sent %q", s)
 		}
 	})
-	leaving := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}, Addr: addr}}
+	leaving := []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Draining}, Addr: addr}}
 	h.Update(false, leaving, time.Now().Add(-time.Second))
 	h.StartAttempt(transaction(t, w), 0, "s1", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
@@ -175,7 +175,7 @@
 
 func TestRefusedConnection(t *testing.T) {
 	h, w, _ := start(t, func(net.Conn) {})
-	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s2"}, Addr: "127.0.0.1:1"}}, time.Now())
+	h.Update(false, []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s2"}, Addr: "127.0.0.1:1"}}, time.Now())
 	h.StartAttempt(transaction(t, w), 0, "s2", time.Now().Add(patience))
 	if end := w.next(t); end.outcome != balance.ConnectFailed {
 		t.Errorf("told %+v", end)
@@ -239,7 +239,7 @@
 func TestProbesFollowTheAddress(t *testing.T) {
 	h, w, _ := start(t, func(net.Conn) {})
 	for _, x0 := range []float64{0.25, 0.75} {
-		moved := []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
+		moved := []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, fmt.Sprint(x0))}}
 		h.Update(false, moved, time.Now())
 		h.Probe("s1")
 		if got := w.next(t); got.outcome != balance.OK || got.load.Utilization != x0 {
@@ -259,8 +259,8 @@
 	})
 	h.Probe("s1")
 	<-asked
-	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Gone}}}, time.Now())
-	h.Update(false, []discovery.Entry{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, "0.5")}}, time.Now())
+	h.Update(false, []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1", State: balance.Gone}}}, time.Now())
+	h.Update(false, []discovery.Endpoint{{ServerEntry: balance.ServerEntry{ID: "s1"}, Addr: stats(t, "0.5")}}, time.Now())
 	for range 3 {
 		h.Probe("s1")
 		if got := w.next(t); got.outcome != balance.OK {
