--- a/internal/fleet/logentry/entry_test.go
+++ b/internal/fleet/logentry/entry_test.go
@@ -12,7 +12,7 @@
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-func raw(t *testing.T, e Entry) []byte {
+func marshalEntry(t *testing.T, e Entry) []byte {
 	t.Helper()
 	b, err := json.Marshal(&e)
 	if err != nil {
@@ -21,19 +21,19 @@
 	return b
 }
 
-func over(t *testing.T, base uint64, part float64) []byte {
+func spillEntry(t *testing.T, base uint64, part float64) []byte {
 	body, _ := json.Marshal(zonestatus.Change{BaseVersion: base, Zones: []string{"a", "b"}, Shed: part})
-	return raw(t, Entry{Kind: KindZones, ProposedBy: "m1", Body: body})
+	return marshalEntry(t, Entry{Kind: KindZones, ProposedBy: "m1", Body: body})
 }
 
 // Whoever applies the same entries holds the same state and hash, also by way of a state
 // that was written down; one entry that differs, or its place, shows in all hashes after it.
-func TestChain(t *testing.T) {
+func TestHashChainCoversEveryEntryInOrder(t *testing.T) {
 	start, err := NewState(Genesis{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	entries := [][]byte{over(t, 0, 0.25), []byte("no JSON"), over(t, 1, 0.5)}
+	entries := [][]byte{spillEntry(t, 0, 0.25), []byte("no JSON"), spillEntry(t, 1, 0.5)}
 	taken := []bool{true, false, true}
 	s, hashes := start, map[Hash]bool{start.Hash: true}
 	for i, e := range entries {
@@ -76,7 +76,7 @@
 	}
 }
 
-func TestRefused(t *testing.T) {
+func TestRejectsInvalidEntries(t *testing.T) {
 	s, err := NewState(Genesis{})
 	if err != nil {
 		t.Fatal(err)
@@ -103,7 +103,7 @@
 	}
 }
 
-func TestSignature(t *testing.T) {
+func TestSignatureCoversAllButTheProposer(t *testing.T) {
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		t.Fatal(err)
@@ -118,7 +118,7 @@
 	moved := good
 	moved.ProposedBy = "m2"
 	for _, e := range []Entry{good, moved} {
-		if next, out := s.Apply(raw(t, e)); !out.Accepted || next.Accounts.Nodes["acme"] == nil {
+		if next, out := s.Apply(marshalEntry(t, e)); !out.Accepted || next.Accounts.Nodes["acme"] == nil {
 			t.Errorf("by %s: %+v", e.ProposedBy, out)
 		}
 	}
@@ -131,7 +131,7 @@
 	} {
 		e := good
 		edit(&e)
-		if err := s.Check(raw(t, e)); err == nil || !strings.Contains(err.Error(), "the signature is not good") {
+		if err := s.Check(marshalEntry(t, e)); err == nil || !strings.Contains(err.Error(), "the signature is not good") {
 			t.Errorf("%s changed: %v", what, err)
 		}
 	}
@@ -139,7 +139,7 @@
 	for kind, body := range map[Kind]string{KindZones: `{"base":0,"set":[],"over":0.5,"zones":["a"]}`, KindContracts: `{"steer":[{"contract":"c","shares":{}}]}`} {
 		e := Entry{Kind: kind, KeyName: good.KeyName, Body: []byte(body)}
 		e.Signature = ed25519.Sign(private, e.SignedBytes())
-		if err := s.Check(raw(t, e)); !errors.Is(err, errMembers) {
+		if err := s.Check(marshalEntry(t, e)); !errors.Is(err, errMemberDecision) {
 			t.Errorf("%s, signed: %v", kind, err)
 		}
 	}
@@ -147,7 +147,7 @@
 	body, _ := json.Marshal(account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "<&>"}}})
 	odd := Entry{Kind: KindAccounts, KeyName: account.KeyName(public), Body: []byte(strings.ReplaceAll(string(body), `\u003c`, "<"))}
 	odd.Signature = ed25519.Sign(private, odd.SignedBytes())
-	if err := s.Check(raw(t, odd)); err == nil || strings.Contains(err.Error(), "signature") {
+	if err := s.Check(marshalEntry(t, odd)); err == nil || strings.Contains(err.Error(), "signature") {
 		t.Errorf("a path that is none: %v", err)
 	}
 }
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -77,7 +77,7 @@
 	_ = binary.Write(h, binary.BigEndian, next.Index)
 	h.Write(raw)
 	h.Sum(next.Hash[:0])
-	changed, err := s.take(raw)
+	changed, err := s.evaluate(raw)
 	if err != nil {
 		return &next, Outcome{Index: next.Index, Reason: err.Error()}
 	}
@@ -87,15 +87,15 @@
 
 // Check tells whether an entry would be taken now, as Apply does.
 func (s *State) Check(raw []byte) error {
-	_, err := s.take(raw)
+	_, err := s.evaluate(raw)
 	return err
 }
 
 // errMembers is that a key signs what the fleet's members decide among themselves.
-var errMembers = errors.New("this is the members' own decision, and no key's")
+var errMemberDecision = errors.New("this is the members' own decision, and no key's")
 
 // take returns a state of which only the rooms count.
-func (s *State) take(raw []byte) (*State, error) {
+func (s *State) evaluate(raw []byte) (*State, error) {
 	if len(raw) > MaxSize {
 		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), MaxSize)
 	}
@@ -103,7 +103,7 @@
 	if err := UnmarshalStrict(raw, &e); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	if err := s.signed(&e); err != nil {
+	if err := s.verifySignature(&e); err != nil {
 		return nil, fmt.Errorf("%s: %w", e.Kind, err)
 	}
 	next := *s
@@ -112,7 +112,7 @@
 	case KindZones:
 		var c zonestatus.Change
 		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" {
-			err = errMembers
+			err = errMemberDecision
 		}
 		if err == nil {
 			next.Zones, err = s.Zones.Apply(s.Genesis.Zones, c)
@@ -125,7 +125,7 @@
 	case KindContracts:
 		var c slo.Change
 		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" && len(c.Allocations) > 0 {
-			err = errMembers
+			err = errMemberDecision
 		}
 		if err == nil {
 			next.Contracts, err = s.Contracts.Apply(c, e.ProposedAt, func(holder string) error { return s.Accounts.AuthorizeContract(e.KeyName, holder) })
@@ -143,7 +143,7 @@
 
 // signed holds an entry to its signature. Without a key it is a member's own, and the room
 // decides what such a one may change.
-func (s *State) signed(e *Entry) error {
+func (s *State) verifySignature(e *Entry) error {
 	if e.KeyName == "" {
 		if len(e.Signature) > 0 {
 			return errors.New("a signature, but no key")
--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -24,7 +24,7 @@
 var update = flag.Bool("update", false, "rewrite the files in testdata/stored")
 
 // golden compares what is written now with the stored file, and returns that.
-func golden(t *testing.T, name string, written []byte) []byte {
+func assertStored(t *testing.T, name string, written []byte) []byte {
 	t.Helper()
 	path := filepath.Join("testdata", "stored", name)
 	if *update {
@@ -170,19 +170,19 @@
 		e := storedEntry(t, n, c)
 		recordFields(reflect.ValueOf(e), filled)
 		recordFields(reflect.ValueOf(c.change), filled)
-		line := raw(t, e)
+		line := marshalEntry(t, e)
 		log.Write(append(line, '\n'))
 		var out Outcome
 		if state, out = state.Apply(line); out.Accepted == (c.kind == "settings") {
 			t.Errorf("entry %d: %+v", n, out)
 		}
 	}
-	golden(t, "entries.jsonl", log.Bytes())
+	assertStored(t, "entries.jsonl", log.Bytes())
 	written, err := json.Marshal(state)
 	if err != nil {
 		t.Fatal(err)
 	}
-	stored := golden(t, "state.json", written)
+	stored := assertStored(t, "state.json", written)
 	read := &State{}
 	if err := UnmarshalStrict(stored, read); err != nil || read.AttachGenesis(storedGenesis()) != nil || !reflect.DeepEqual(read, state) {
 		t.Errorf("read as %+v, %v; it was %+v", read, err, state)
