--- a/cmd/coralctl/account_test.go
+++ b/cmd/coralctl/account_test.go
@@ -25,16 +25,16 @@
 	state *logentry.State
 }
 
-func (r *recorder) Answer(agentapi.Said) (told agentapi.Told) { return told }
+func (r *recorder) HandleReport(agentapi.Report) (told agentapi.Response) { return told }
 
-func (r *recorder) Operator(_ context.Context, ask agentapi.Ask) (any, error) {
+func (r *recorder) HandleOperator(_ context.Context, ask agentapi.OperatorRequest) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if ask.Ask == "record" {
+	if ask.Method == "record" {
 		return r.state, nil
 	}
 	next, outcome := r.state.Apply(ask.Entry)
-	if ask.Ask == "propose" {
+	if ask.Method == "propose" {
 		r.state = next
 	}
 	return map[string]any{"outcome": outcome}, nil
--- a/cmd/coralctl/change.go
+++ b/cmd/coralctl/change.go
@@ -30,7 +30,7 @@
 	var all struct {
 		Accounts account.State `json:"accounts"`
 	}
-	err = agentapi.Call(addr, agentapi.Ask{Ask: "record"}, &all)
+	err = agentapi.Call(addr, agentapi.OperatorRequest{Method: "record"}, &all)
 	return addr, all.Accounts, err
 }
 
@@ -59,15 +59,15 @@
 	if err != nil {
 		return err
 	}
-	ask := agentapi.Ask{Ask: "propose", Entry: raw}
+	ask := agentapi.OperatorRequest{Method: "propose", Entry: raw}
 	if c.DryRun {
-		ask.Ask = "check"
+		ask.Method = "check"
 	}
 	var answer struct {
 		Outcome logentry.Outcome `json:"outcome"`
 	}
-	var no *agentapi.Refusal
-	if err := agentapi.Call(addr, ask, &answer); errors.As(err, &no) && no.Unknown {
+	var no *agentapi.CallError
+	if err := agentapi.Call(addr, ask, &answer); errors.As(err, &no) && no.OutcomeUnknown {
 		return fmt.Errorf("%w; it may have been taken or may yet be: look before you try again, it can't be taken twice", err)
 	} else if err != nil {
 		return err
--- a/cmd/coralctl/fleet.go
+++ b/cmd/coralctl/fleet.go
@@ -45,7 +45,7 @@
 		return err
 	}
 	var s agentapi.State
-	if err := agentapi.Call(addr, agentapi.Ask{Ask: "state"}, &s); err != nil {
+	if err := agentapi.Call(addr, agentapi.OperatorRequest{Method: "state"}, &s); err != nil {
 		return err
 	}
 	return printState(os.Stdout, &s, time.Now())
@@ -55,47 +55,47 @@
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "member\t%s\n", s.Name)
 	fmt.Fprintf(w, "zone\t%s\n", or(s.Zone, "none"))
-	fmt.Fprintf(w, "record\t%s\n", s.Record)
-	if s.Record == "on" {
+	fmt.Fprintf(w, "record\t%s\n", s.Log)
+	if s.Log == "on" {
 		fmt.Fprintf(w, "index\t%d %.12s\n", s.Index, s.Hash)
 		fmt.Fprintf(w, "role\t%s, the leader is %s\n", s.Role, or(s.Leader, "not known"))
 		fmt.Fprintf(w, "heard\t%s\n", heard(s))
-		fmt.Fprintf(w, "disk\t%s\n", or(s.Disk, "good"))
+		fmt.Fprintf(w, "disk\t%s\n", or(s.DiskError, "good"))
 	}
-	if s.Over > 0 {
-		fmt.Fprintf(w, "refused\t%.0f %% of first arrivals: the zones that stay can't carry them\n", 100*s.Over)
+	if s.RejectedShare > 0 {
+		fmt.Fprintf(w, "refused\t%.0f %% of first arrivals: the zones that stay can't carry them\n", 100*s.RejectedShare)
 	}
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "FROM\tTO\tPOSTURE\tSHARE\tSINCE\tNOT BEFORE")
-	for _, z := range s.Postures {
-		posture := z.Posture
+	for _, z := range s.ZoneStatuses {
+		posture := z.Status
 		if z.Step > 0 {
-			posture = fmt.Sprintf("%s, step %d, %.3g/s", z.Posture, z.Step, z.Rate)
+			posture = fmt.Sprintf("%s, step %d, %.3g/s", z.Status, z.Step, z.Rate)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%s\t%s\n", z.From, z.To, posture, z.Share, ago(now, z.Since), ago(now, z.Until))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%s\t%s\n", z.ObservingZone, z.Zone, posture, z.Share, ago(now, z.ChangedAtMillis), ago(now, z.RetryAtMillis))
 	}
-	if len(s.Postures) == 0 {
+	if len(s.ZoneStatuses) == 0 {
 		fmt.Fprintln(w, "all zones are open")
 	}
-	for _, b := range s.Bounds {
+	for _, b := range s.ZoneLimits {
 		fmt.Fprintf(w, "this node\t%s\tbound\t%.2f\n", b.Zone, b.Share)
 	}
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "MEMBER\tZONE\tSTATUS\tINDEX\tLAST WORD")
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, or(m.Zone, "-"), m.Status, m.Index, ago(now, m.At))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, or(m.Zone, "-"), m.Status, m.Index, ago(now, m.ReportedAtMillis))
 	}
 	return w.Flush()
 }
 
 func heard(s *agentapi.State) string {
 	switch {
-	case s.Heard < 0:
+	case s.LastContactMillis < 0:
 		return "never: this member acts on its last state and on what its node sees"
-	case !s.Fresh:
-		return fmt.Sprintf("%d ms ago: too long, this member acts on its last state and on what its node sees", s.Heard)
+	case !s.WithinLease:
+		return fmt.Sprintf("%d ms ago: too long, this member acts on its last state and on what its node sees", s.LastContactMillis)
 	}
-	return fmt.Sprintf("%d ms ago", s.Heard)
+	return fmt.Sprintf("%d ms ago", s.LastContactMillis)
 }
 
 // ago words a time in Unix ms for people; 0 is none.
--- a/cmd/coralctl/script_test.go
+++ b/cmd/coralctl/script_test.go
@@ -86,7 +86,7 @@
 	defer tick.Stop()
 	for begun := time.Now(); ; <-tick.C {
 		var s agentapi.State
-		if err := agentapi.Call(ts.Getenv("AGENT"), agentapi.Ask{Ask: "state"}, &s); err == nil {
+		if err := agentapi.Call(ts.Getenv("AGENT"), agentapi.OperatorRequest{Method: "state"}, &s); err == nil {
 			return
 		}
 		if time.Since(begun) > 10*time.Second {
--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -22,18 +22,18 @@
 	lost := func(err error) {
 		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
 	}
-	l := &agentapi.Link{Addr: f.Agent, Say: func() agentapi.Said { return agentapi.Said{QuotaUsage: core.Spending()} },
-		Take: func(t agentapi.Told) { core.Grant(t.QuotaLease) }, Lost: lost}
+	l := &agentapi.Client{Addr: f.Agent, MakeReport: func() agentapi.Report { return agentapi.Report{QuotaUsage: core.Spending()} },
+		HandleResponse: func(t agentapi.Response) { core.Grant(t.QuotaLease) }, OnDisconnect: lost}
 	if f.ReplicatedLog.IsEnabled() {
 		r, err := newRoutes(core, f.AllocationConfig())
 		if err != nil {
 			return fmt.Errorf("fleet: routes: %w", err)
 		}
 		core.Router = r
-		say, take := l.Say, l.Take
-		l.Say = func() agentapi.Said { s := say(); r.say(&s); return s }
-		l.Take = func(t agentapi.Told) { take(t); r.take(&t) }
-		l.Lost = func(err error) { r.lost(); lost(err) }
+		say, take := l.MakeReport, l.HandleResponse
+		l.MakeReport = func() agentapi.Report { s := say(); r.say(&s); return s }
+		l.HandleResponse = func(t agentapi.Response) { take(t); r.take(&t) }
+		l.OnDisconnect = func(err error) { r.lost(); lost(err) }
 	}
 	countPromises(l, f, core)
 	parts.Go(func() { l.Run(ctx) })
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -26,7 +26,7 @@
 }
 
 // countPromises has the link tell what the node measures, where contracts are kept.
-func countPromises(l *agentapi.Link, f operatorconfig.Fleet, core *dispatch.EventLoop) {
+func countPromises(l *agentapi.Client, f operatorconfig.Fleet, core *dispatch.EventLoop) {
 	if !f.SLO.Enabled {
 		return
 	}
@@ -38,9 +38,9 @@
 		}
 	}
 	core.SetAttemptObserver(p.timed)
-	say, take := l.Say, l.Take
-	l.Say = func() agentapi.Said { s := say(); p.say(&s); return s }
-	l.Take = func(t agentapi.Told) { take(t); p.take(t.Promised) }
+	say, take := l.MakeReport, l.HandleResponse
+	l.MakeReport = func() agentapi.Report { s := say(); p.say(&s); return s }
+	l.HandleResponse = func(t agentapi.Response) { take(t); p.take(t.Contracts) }
 }
 
 func (p *promises) timed(contract, server string, took time.Duration) {
@@ -60,7 +60,7 @@
 }
 
 // say tells what was measured in the parts of time that are over.
-func (p *promises) say(s *agentapi.Said) {
+func (p *promises) say(s *agentapi.Report) {
 	at := make(map[string]string, len(s.Servers))
 	for _, hop := range s.Servers {
 		if region, ok := p.zones[hop.Zone]; ok {
@@ -72,19 +72,19 @@
 	p.core.RunOnLoop(func(time.Duration) {
 		p.at = at
 		p.over(p.tally.Rotate(p.now()))
-		s.Samples, s.Contracts, p.done = p.done, p.known, nil
+		s.Samples, s.ContractsVersion, p.done = p.done, p.known, nil
 	})
 }
 
 // take goes by other contracts from now on. Those on messages are not counted: the node
 // passes messages on without knowing which answers which.
-func (p *promises) take(told *agentapi.Promised) {
+func (p *promises) take(told *agentapi.ContractList) {
 	if told == nil {
 		return
 	}
 	s := slo.State{Version: told.Version}
 	for _, c := range told.Contracts {
-		if !c.Messages {
+		if !c.MeasuresMessages {
 			s.Contracts = append(s.Contracts, slo.Contract{Name: c.Name, Priority: c.Priority})
 		}
 	}
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -30,7 +30,7 @@
 	half time.Duration // half of an epoch
 
 	// Of the link's goroutine.
-	gathered agentapi.Gathering
+	gathered agentapi.Reassembler
 	table    *route.Table // nil for none
 	word     int64        // half epoch that the agent was last told of
 	bad      logging.Throttled
@@ -98,21 +98,21 @@
 func (r *routes) Release(on *route.Route) { r.ledger.ConnectionClosed(on) }
 
 // say adds to what the agent is told: once in a half epoch what was used.
-func (r *routes) say(s *agentapi.Said) {
+func (r *routes) say(s *agentapi.Report) {
 	if r.table != nil {
-		s.Table = r.table.Index
+		s.TableIndex = r.table.Index
 	}
-	r.gathered.Say(s)
+	r.gathered.FillProgress(s)
 	r.core.RunOnLoop(func(now time.Duration) {
-		if half := int64((now + r.ahead) / r.half); half != r.word && s.Deal+s.Table > 0 {
+		if half := int64((now + r.ahead) / r.half); half != r.word && s.LeaseNumber+s.TableIndex > 0 {
 			r.word = half
 			u := r.ledger.Usage(now + r.ahead)
-			s.Uses = &u
+			s.Usage = &u
 		}
 		r.logRefusals()
 	})
-	if s.Uses != nil {
-		bound(s.Uses)
+	if s.Usage != nil {
+		bound(s.Usage)
 	}
 }
 
@@ -136,11 +136,11 @@
 
 // take takes what the agent answers. A table that can't be used leaves the one in force, and
 // is asked for anew, whole.
-func (r *routes) take(t *agentapi.Told) {
-	if w, ok := r.gathered.Table(t); ok {
+func (r *routes) take(t *agentapi.Response) {
+	if w, ok := r.gathered.AddTable(t); ok {
 		r.compile(w)
 	}
-	rights, ok := r.gathered.Rights(t)
+	rights, ok := r.gathered.AddLease(t)
 	if !ok {
 		return
 	}
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -100,20 +100,20 @@
 		go core.Run(ctx)
 
 		exchange := func() {
-			said := agentapi.Said{QuotaUsage: core.Spending()}
+			said := agentapi.Report{QuotaUsage: core.Spending()}
 			node.say(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
 				t.Fatal(err)
 			}
-			heard := agentapi.Said{}
+			heard := agentapi.Report{}
 			if err := json.Unmarshal(raw, &heard); err != nil {
 				t.Fatal(err)
 			}
-			if raw, err = json.Marshal(a.Answer(heard)); err != nil {
+			if raw, err = json.Marshal(a.HandleReport(heard)); err != nil {
 				t.Fatal(err)
 			}
-			told := agentapi.Told{}
+			told := agentapi.Response{}
 			if err := json.Unmarshal(raw, &told); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -47,7 +47,7 @@
 			{`{"kind":"accounts","by":"","at":1,"body":{"base":0}}`, "not signed"},
 		} {
 			for _, ask := range []string{"check", "propose"} {
-				answer, err := w.agent.Operator(t.Context(), agentapi.Ask{Ask: ask, Entry: json.RawMessage(tt.entry)})
+				answer, err := w.agent.HandleOperator(t.Context(), agentapi.OperatorRequest{Method: ask, Entry: json.RawMessage(tt.entry)})
 				if err == nil || !strings.Contains(err.Error(), tt.want) {
 					t.Errorf("%s %s: %v, %v", ask, tt.entry, answer, err)
 				}
@@ -68,8 +68,8 @@
 		w.ledger.change(func(v *replog.View) { v.Fresh, v.ConfirmedAt = true, time.Now() })
 		done := make(chan struct{})
 		go func() { defer close(done); w.agent.Run(ctx) }()
-		said := agentapi.Said{}
-		var gathered agentapi.Gathering
+		said := agentapi.Report{}
+		var gathered agentapi.Reassembler
 		node := func() {
 			time.Sleep(150 * time.Millisecond)
 			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
@@ -77,7 +77,7 @@
 					w.agent.Gossip.Hear(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
 				}
 			}
-			gathered.Say(&said)
+			gathered.FillProgress(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
 				t.Fatal(err)
@@ -86,16 +86,16 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var told agentapi.Told
+			var told agentapi.Response
 			if err := json.Unmarshal([]byte(answer), &told); err != nil {
 				t.Fatal(err)
 			}
-			if wire, ok := gathered.Table(&told); ok {
+			if wire, ok := gathered.AddTable(&told); ok {
 				raw, _ := json.Marshal(wire.Set)
 				w.write("agent", "to its node: whole %v, routes %s, gone %v", wire.Complete, raw, wire.Removed)
-				said.Table = wire.Index
+				said.TableIndex = wire.Index
 			}
-			if r, ok := gathered.Rights(&told); ok {
+			if r, ok := gathered.AddLease(&told); ok {
 				raw, _ := json.Marshal(r.Allocated)
 				w.write("agent", "to its node: rights of half %d %s", r.HalfEpoch%2, raw)
 			}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -156,10 +156,10 @@
 }
 
 // Answer takes what the node has said. The node's clock is the machine's.
-func (a *Agent) Answer(s agentapi.Said) agentapi.Told {
+func (a *Agent) HandleReport(s agentapi.Report) agentapi.Response {
 	g := a.Gossip.Answer(s.QuotaUsage)
 	g.TokensExpireAt -= a.ClockOffset
-	told := agentapi.Told{QuotaLease: g}
+	told := agentapi.Response{QuotaLease: g}
 	if a.Accounts != nil && a.Log != nil {
 		a.tables.hear(&s)
 		a.tables.tell(&s, &told)
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -28,7 +28,7 @@
 		time.Sleep(25 * time.Millisecond)
 		w.hear(seq + 1)
 		time.Sleep(25 * time.Millisecond)
-		line, err := json.Marshal(agentapi.Said{QuotaUsage: w.spending()})
+		line, err := json.Marshal(agentapi.Report{QuotaUsage: w.spending()})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -36,7 +36,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var told agentapi.Told
+		var told agentapi.Response
 		if err := json.Unmarshal([]byte(answer), &told); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -20,8 +20,8 @@
 
 // Operator answers an operator's ask: "state" for people, "record" for all that the record
 // holds, "check" for whether an entry would be taken now, "propose" to have it taken.
-func (a *Agent) Operator(ctx context.Context, ask agentapi.Ask) (any, error) {
-	switch ask.Ask {
+func (a *Agent) HandleOperator(ctx context.Context, ask agentapi.OperatorRequest) (any, error) {
+	switch ask.Method {
 	case "state":
 		return a.State(), nil
 	case "record", "check", "propose":
@@ -29,10 +29,10 @@
 			return nil, fmt.Errorf("fleet.record: %s", a.NoLogReason)
 		}
 	default:
-		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", ask.Ask)
+		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", ask.Method)
 	}
 	state := a.Log.View().State
-	if ask.Ask == "record" {
+	if ask.Method == "record" {
 		return state, nil
 	}
 	if len(ask.Entry) > logentry.MaxSize {
@@ -46,10 +46,10 @@
 		return nil, err
 	}
 	e.ProposedBy = a.Name
-	if ask.Ask == "propose" {
+	if ask.Method == "propose" {
 		o, err := a.Log.Propose(ctx, e)
 		if errors.Is(err, replog.ErrOutcomeUnknown) {
-			err = &agentapi.Refusal{Text: err.Error(), Unknown: true}
+			err = &agentapi.CallError{Message: err.Error(), OutcomeUnknown: true}
 		}
 		return ProposalOutcome{o}, err
 	}
@@ -88,31 +88,31 @@
 
 // State is what this member knows and tells its node.
 func (a *Agent) State() agentapi.State {
-	s := agentapi.State{Name: a.Name, Zone: a.Zone, Record: "on", Heard: -1, Postures: []agentapi.Seen{}, Bounds: []agentapi.Bound{}}
+	s := agentapi.State{Name: a.Name, Zone: a.Zone, Log: "on", LastContactMillis: -1, ZoneStatuses: []agentapi.ZoneStatus{}, ZoneLimits: []agentapi.ZoneLimit{}}
 	if a.Log == nil {
-		s.Record = a.NoLogReason
+		s.Log = a.NoLogReason
 	} else {
 		v := a.Log.View()
-		s.Role, s.Leader, s.Fresh, s.Disk = v.Role, v.Leader, v.Fresh, v.DiskError
+		s.Role, s.Leader, s.WithinLease, s.DiskError = v.Role, v.Leader, v.Fresh, v.DiskError
 		if !v.ConfirmedAt.IsZero() {
-			s.Heard = time.Since(v.ConfirmedAt).Milliseconds()
+			s.LastContactMillis = time.Since(v.ConfirmedAt).Milliseconds()
 		}
 		if v.State != nil {
-			s.Index, s.Hash, s.Version = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
+			s.Index, s.Hash, s.ZonesVersion = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
 			for _, z := range v.State.Zones.Pairs {
-				s.Postures = append(s.Postures, agentapi.Seen{From: z.From, To: z.To, Posture: z.Status.String(), Share: z.Share,
-					Step: z.Step, Rate: z.Rate, Since: z.ChangedAt, Until: z.HeldUntil, Fails: z.Failures})
+				s.ZoneStatuses = append(s.ZoneStatuses, agentapi.ZoneStatus{ObservingZone: z.From, Zone: z.To, Status: z.Status.String(), Share: z.Share,
+					Step: z.Step, Rate: z.Rate, ChangedAtMillis: z.ChangedAt, RetryAtMillis: z.HeldUntil, Failures: z.Failures})
 			}
 		}
 	}
 	a.mu.Lock()
-	s.Over = a.given.Over
+	s.RejectedShare = a.given.Over
 	for _, b := range a.given.Bounds {
-		s.Bounds = append(s.Bounds, agentapi.Bound(b))
+		s.ZoneLimits = append(s.ZoneLimits, agentapi.ZoneLimit(b))
 	}
 	a.mu.Unlock()
 	for _, m := range a.Gossip.Members() {
-		s.Members = append(s.Members, agentapi.Peer{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), Record: m.Record, Index: m.Index, At: m.At})
+		s.Members = append(s.Members, agentapi.Member{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), LogAddr: m.Record, Index: m.Index, ReportedAtMillis: m.At})
 	}
 	return s
 }
--- a/internal/fleet/agent/promises.go
+++ b/internal/fleet/agent/promises.go
@@ -159,20 +159,20 @@
 }
 
 // counted takes what the node has measured, and tells it by which contracts it counts.
-func (a *Agent) counted(said *agentapi.Said, told *agentapi.Told) {
+func (a *Agent) counted(said *agentapi.Report, told *agentapi.Response) {
 	if a.keeping == nil || a.Log == nil {
 		return
 	}
 	a.keeping.measured(a.Clock(), said.Samples)
-	if v := a.Log.View(); v.State != nil && v.State.Contracts.Version != said.Contracts {
-		told.Promised = promised(v.State.Contracts)
+	if v := a.Log.View(); v.State != nil && v.State.Contracts.Version != said.ContractsVersion {
+		told.Contracts = promised(v.State.Contracts)
 	}
 }
 
-func promised(s slo.State) *agentapi.Promised {
-	p := &agentapi.Promised{Version: s.Version, Contracts: []agentapi.Contract{}}
+func promised(s slo.State) *agentapi.ContractList {
+	p := &agentapi.ContractList{Version: s.Version, Contracts: []agentapi.Contract{}}
 	for _, c := range s.Contracts {
-		p.Contracts = append(p.Contracts, agentapi.Contract{Name: c.Name, Priority: c.Priority, Messages: c.ForMessages})
+		p.Contracts = append(p.Contracts, agentapi.Contract{Name: c.Name, Priority: c.Priority, MeasuresMessages: c.ForMessages})
 	}
 	return p
 }
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -67,15 +67,15 @@
 
 // tell puts rights into the node's answer, if they are news to it. They are dealt once in a
 // half epoch, as the node's own word of it comes, and again as that of others comes.
-func (d *dealing) tell(a *Agent, now time.Duration, v replog.View, s *agentapi.Said, to *agentapi.Told) {
-	if v.State == nil || len(v.State.Accounts.Nodes) == 0 && s.Deal == 0 {
+func (d *dealing) tell(a *Agent, now time.Duration, v replog.View, s *agentapi.Report, to *agentapi.Response) {
+	if v.State == nil || len(v.State.Accounts.Nodes) == 0 && s.LeaseNumber == 0 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	word := s.Uses != nil
+	word := s.Usage != nil
 	if word {
-		d.own = *s.Uses
+		d.own = *s.Usage
 		d.own.Member, d.own.ReportedAt = a.Name, now
 		if d.own.IsValid() {
 			a.Gossip.Used(d.own)
@@ -107,19 +107,19 @@
 		return
 	}
 	parts := d.parts[0]
-	if s.Even >= d.even && s.Even <= d.number {
+	if s.CompleteLeaseNumber >= d.even && s.CompleteLeaseNumber <= d.number {
 		parts = d.parts[1]
 	}
 	piece := 0
-	if s.Deal == d.number {
-		piece = s.Piece
+	if s.LeaseNumber == d.number {
+		piece = s.LeasePartsReceived
 	}
 	if to.More || piece >= len(parts) { // a table goes first
 		return
 	}
 	r := parts[piece]
 	r.ExpiresAt -= a.ClockOffset // the node's clock is the machine's
-	to.Rights, to.Deal, to.Pieces, to.More = &r, d.number, len(parts), piece+1 < len(parts)
+	to.Lease, to.LeaseNumber, to.LeaseParts, to.More = &r, d.number, len(parts), piece+1 < len(parts)
 }
 
 // deal reckons this half's rights anew. Who has not heard the record for the hold goes by its
@@ -143,7 +143,7 @@
 func (d *dealing) take(a *Agent, j job, r account.QuotaLease) {
 	bare := r
 	bare.EvenShares = nil
-	parts := [2][]account.QuotaLease{agentapi.RightsParts(r, agentapi.Part), agentapi.RightsParts(bare, agentapi.Part)}
+	parts := [2][]account.QuotaLease{agentapi.SplitLease(r, agentapi.MaxPartBytes), agentapi.SplitLease(bare, agentapi.MaxPartBytes)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.busy, d.made, d.cost = false, j.now, a.Clock()-j.now
--- a/internal/fleet/agent/routes.go
+++ b/internal/fleet/agent/routes.go
@@ -34,14 +34,14 @@
 }
 
 // hear takes how many next hops the node has in each zone, and what table.
-func (t *tables) hear(s *agentapi.Said) {
+func (t *tables) hear(s *agentapi.Report) {
 	ready := map[string]int{}
 	for _, x := range s.Servers {
 		ready[x.Zone]++
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.has = s.Table != 0
+	t.has = s.TableIndex != 0
 	if len(s.Servers) > 0 {
 		t.ready = ready
 	}
@@ -76,16 +76,16 @@
 }
 
 // tell puts a part of what is news to the node into its answer.
-func (t *tables) tell(s *agentapi.Said, to *agentapi.Told) {
+func (t *tables) tell(s *agentapi.Report, to *agentapi.Response) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.kept) == 0 || t.kept[len(t.kept)-1].Index == s.Table {
+	if len(t.kept) == 0 || t.kept[len(t.kept)-1].Index == s.TableIndex {
 		return
 	}
 	latest := t.kept[len(t.kept)-1]
 	var before *route.Update
 	for i := range t.kept {
-		if t.kept[i].Index == s.Table {
+		if t.kept[i].Index == s.TableIndex {
 			before = &t.kept[i]
 		}
 	}
@@ -98,12 +98,12 @@
 		if before != nil {
 			w = route.Diff(*before, latest)
 		}
-		n.since, n.index, n.parts = since, latest.Index, agentapi.TableParts(w, agentapi.Part)
+		n.since, n.index, n.parts = since, latest.Index, agentapi.SplitTable(w, agentapi.MaxPartBytes)
 	}
 	part := 0
-	if s.Toward == latest.Index && s.Part < len(t.news.parts) {
-		part = s.Part
+	if s.PartialTableIndex == latest.Index && s.TablePartsReceived < len(t.news.parts) {
+		part = s.TablePartsReceived
 	}
-	to.Table, to.Parts = &t.news.parts[part], len(t.news.parts)
-	to.More = part+1 < to.Parts
+	to.Table, to.TableParts = &t.news.parts[part], len(t.news.parts)
+	to.More = part+1 < to.TableParts
 }
--- a/internal/fleet/agentapi/agent.go
+++ b/internal/fleet/agentapi/agent.go
@@ -12,10 +12,10 @@
 // Agent answers on the agent's port. Both may be called by several connections at once.
 type Agent interface {
 	// Answer takes what a node has said.
-	Answer(Said) Told
+	HandleReport(Report) Response
 	// Operator takes an operator's ask, and gives up when ctx ends. Its error may be a
 	// *Refusal.
-	Operator(context.Context, Ask) (any, error)
+	HandleOperator(context.Context, OperatorRequest) (any, error)
 }
 
 const (
@@ -60,24 +60,24 @@
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(silent))
 		var line struct {
-			Said
-			Ask
+			Report
+			OperatorRequest
 		}
 		if !in.Scan() {
 			return
 		}
 		if err := json.Unmarshal(in.Bytes(), &line); err != nil {
-			_ = write(conn, &Refusal{Text: fmt.Sprintf("the line can't be read: %v", err)})
+			_ = write(conn, &CallError{Message: fmt.Sprintf("the line can't be read: %v", err)})
 			return
 		}
-		if line.Ask.Ask == "" {
-			if write(conn, a.Answer(line.Said)) != nil {
+		if line.OperatorRequest.Method == "" {
+			if write(conn, a.HandleReport(line.Report)) != nil {
 				return
 			}
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, answering/2)
-		answer, err := a.Operator(ctx, line.Ask)
+		answer, err := a.HandleOperator(ctx, line.OperatorRequest)
 		cancel()
 		if err != nil {
 			answer = refused(err)
@@ -87,12 +87,12 @@
 	}
 }
 
-func refused(err error) *Refusal {
-	var no *Refusal
+func refused(err error) *CallError {
+	var no *CallError
 	if errors.As(err, &no) {
 		return no
 	}
-	return &Refusal{Text: err.Error()}
+	return &CallError{Message: err.Error()}
 }
 
 func write(conn net.Conn, answer any) error {
--- a/internal/fleet/agentapi/link_test.go
+++ b/internal/fleet/agentapi/link_test.go
@@ -15,12 +15,12 @@
 // agent answers with what it is asked.
 type agent struct{}
 
-func (agent) Answer(s Said) Told {
-	return Told{QuotaLease: balance.QuotaLease{RetryBudget: s.FirstAttempts}}
+func (agent) HandleReport(s Report) Response {
+	return Response{QuotaLease: balance.QuotaLease{RetryBudget: s.FirstAttempts}}
 }
-func (agent) Operator(_ context.Context, a Ask) (any, error) {
-	if a.Ask == "lost" {
-		return nil, &Refusal{Text: "who knows", Unknown: true}
+func (agent) HandleOperator(_ context.Context, a OperatorRequest) (any, error) {
+	if a.Method == "lost" {
+		return nil, &CallError{Message: "who knows", OutcomeUnknown: true}
 	}
 	return a.Entry, nil
 }
@@ -35,9 +35,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() { served <- Serve(ctx, l, agent{}) }()
-	told, lost := make(chan Told, 100), make(chan error, 100)
-	node := &Link{Addr: addr, Say: func() (s Said) { s.FirstAttempts = 3; return s },
-		Take: func(g Told) { told <- g }, Lost: func(err error) { lost <- err }}
+	told, lost := make(chan Response, 100), make(chan error, 100)
+	node := &Client{Addr: addr, MakeReport: func() (s Report) { s.FirstAttempts = 3; return s },
+		HandleResponse: func(g Response) { told <- g }, OnDisconnect: func(err error) { lost <- err }}
 	ended := make(chan struct{})
 	go func() { defer close(ended); node.Run(ctx) }()
 	<-told
@@ -54,7 +54,7 @@
 		t.Errorf("one too many reads %d bytes, %v", n, err)
 	}
 	endless := []byte(strings.Repeat("x", 64<<10))
-	for n := 0; n <= 2*Longest+8<<20; n += len(endless) {
+	for n := 0; n <= 2*MaxLineBytes+8<<20; n += len(endless) {
 		if _, err = all[0].Write(endless); err != nil {
 			break
 		}
@@ -93,18 +93,18 @@
 	served := make(chan error, 1)
 	go func() { served <- Serve(ctx, l, agent{}) }()
 	var got []int
-	if err := Call(addr, Ask{Ask: "echo", Entry: []byte("[1,2]")}, &got); err != nil || len(got) != 2 {
+	if err := Call(addr, OperatorRequest{Method: "echo", Entry: []byte("[1,2]")}, &got); err != nil || len(got) != 2 {
 		t.Errorf("%v, %v", got, err)
 	}
-	var no *Refusal
-	if err := Call(addr, Ask{Ask: "lost"}, &got); !errors.As(err, &no) || !no.Unknown || no.Text != "who knows" {
+	var no *CallError
+	if err := Call(addr, OperatorRequest{Method: "lost"}, &got); !errors.As(err, &no) || !no.OutcomeUnknown || no.Message != "who knows" {
 		t.Errorf("%v", err)
 	}
 	cancel()
 	if err := <-served; err != nil {
 		t.Error(err)
 	}
-	if err := Call(addr, Ask{Ask: "echo"}, &got); err == nil || !strings.Contains(err.Error(), "fleet agent") {
+	if err := Call(addr, OperatorRequest{Method: "echo"}, &got); err == nil || !strings.Contains(err.Error(), "fleet agent") {
 		t.Errorf("%v", err)
 	}
 }
--- a/internal/fleet/agentapi/node.go
+++ b/internal/fleet/agentapi/node.go
@@ -11,19 +11,19 @@
 // Every is how often the node asks: often enough to use tokens that are good for half an
 // epoch, and to hear of what the fleet has decided, seldom enough to cost nothing beside its
 // traffic.
-const Every = 100 * time.Millisecond
+const ReportInterval = 100 * time.Millisecond
 
 // Link is the node's end.
-type Link struct {
-	Addr string
-	Say  func() Said
-	Take func(Told)
-	Lost func(err error) // told once each time that the agent can't be reached any more
+type Client struct {
+	Addr           string
+	MakeReport     func() Report
+	HandleResponse func(Response)
+	OnDisconnect   func(err error) // told once each time that the agent can't be reached any more
 }
 
 // Run asks until ctx ends.
-func (l *Link) Run(ctx context.Context) {
-	tick := time.NewTicker(Every)
+func (l *Client) Run(ctx context.Context) {
+	tick := time.NewTicker(ReportInterval)
 	defer tick.Stop()
 	for up := true; ; {
 		err := l.talk(ctx, tick, func() { up = true })
@@ -31,7 +31,7 @@
 			return
 		}
 		if up {
-			l.Lost(fmt.Errorf("fleet agent %s: %w", l.Addr, err))
+			l.OnDisconnect(fmt.Errorf("fleet agent %s: %w", l.Addr, err))
 		}
 		up = false
 		select {
@@ -43,7 +43,7 @@
 }
 
 // talk asks over one connection until it breaks.
-func (l *Link) talk(ctx context.Context, tick *time.Ticker, up func()) error {
+func (l *Client) talk(ctx context.Context, tick *time.Ticker, up func()) error {
 	conn, err := (&net.Dialer{Timeout: patience}).DialContext(ctx, "tcp", l.Addr)
 	if err != nil {
 		return err
@@ -56,15 +56,15 @@
 		if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
 			return err
 		}
-		if err := json.NewEncoder(conn).Encode(l.Say()); err != nil {
+		if err := json.NewEncoder(conn).Encode(l.MakeReport()); err != nil {
 			return err
 		}
-		var t Told
+		var t Response
 		if err := next(in, &t); err != nil {
 			return err
 		}
 		up()
-		l.Take(t)
+		l.HandleResponse(t)
 		if t.More && ctx.Err() == nil {
 			continue
 		}
--- a/internal/fleet/agentapi/parts.go
+++ b/internal/fleet/agentapi/parts.go
@@ -11,11 +11,11 @@
 
 // Part is how much of a table or of rights goes with one answer, in bytes of JSON, but for
 // what one entry is beyond it: a whole answer stays below Longest.
-const Part = 1 << 20
+const MaxPartBytes = 1 << 20
 
 // TableParts cuts news of a table into parts, at least one. All have its head, and together
 // they are it.
-func TableParts(w route.Update, most int) []route.Update {
+func SplitTable(w route.Update, most int) []route.Update {
 	head := route.Update{Index: w.Index, Complete: w.Complete, BaseIndex: w.BaseIndex}
 	parts, size := []route.Update{head}, 0
 	parts[0].ReadyEndpoints = w.ReadyEndpoints
@@ -49,7 +49,7 @@
 }
 
 // RightsParts cuts rights into parts, at least one.
-func RightsParts(r account.QuotaLease, most int) []account.QuotaLease {
+func SplitLease(r account.QuotaLease, most int) []account.QuotaLease {
 	head := r
 	head.Allocated, head.EvenShares = nil, nil
 	parts, size := []account.QuotaLease{head}, 0
@@ -89,7 +89,7 @@
 
 // Gathering puts the parts of tables and rights together, on the node's side. Its zero value
 // has nothing.
-type Gathering struct {
+type Reassembler struct {
 	index  uint64 // of the table that is gathered
 	table  route.Update
 	parts  int
@@ -101,13 +101,13 @@
 }
 
 // Say tells the agent what there is already.
-func (g *Gathering) Say(s *Said) {
-	s.Toward, s.Part, s.Deal, s.Piece = g.index, g.parts, g.deal, g.pieces
-	s.Even = g.whole
+func (g *Reassembler) FillProgress(s *Report) {
+	s.PartialTableIndex, s.TablePartsReceived, s.LeaseNumber, s.LeasePartsReceived = g.index, g.parts, g.deal, g.pieces
+	s.CompleteLeaseNumber = g.whole
 }
 
 // Table takes an answer's part of a table, and returns the news of it once it is whole.
-func (g *Gathering) Table(t *Told) (route.Update, bool) {
+func (g *Reassembler) AddTable(t *Response) (route.Update, bool) {
 	switch {
 	case t.Table == nil:
 		return route.Update{}, false
@@ -116,7 +116,7 @@
 	default:
 		g.index, g.table, g.parts = t.Table.Index, *t.Table, 0
 	}
-	if g.parts++; g.parts < t.Parts {
+	if g.parts++; g.parts < t.TableParts {
 		return route.Update{}, false
 	}
 	w := g.table
@@ -125,21 +125,21 @@
 }
 
 // Rights takes an answer's part of rights, and returns them once they are whole.
-func (g *Gathering) Rights(t *Told) (account.QuotaLease, bool) {
+func (g *Reassembler) AddLease(t *Response) (account.QuotaLease, bool) {
 	switch {
-	case t.Rights == nil:
+	case t.Lease == nil:
 		return account.QuotaLease{}, false
-	case g.pieces > 0 && t.Deal == g.deal:
+	case g.pieces > 0 && t.LeaseNumber == g.deal:
 	default:
-		g.deal, g.pieces = t.Deal, 0
-		g.rights = *t.Rights
+		g.deal, g.pieces = t.LeaseNumber, 0
+		g.rights = *t.Lease
 		g.rights.Allocated, g.rights.EvenShares = map[string]account.Amounts{}, nil
 	}
-	maps.Copy(g.rights.Allocated, t.Rights.Allocated)
-	for path, f := range t.Rights.EvenShares {
+	maps.Copy(g.rights.Allocated, t.Lease.Allocated)
+	for path, f := range t.Lease.EvenShares {
 		put(&g.rights.EvenShares, path, f)
 	}
-	if g.pieces++; g.pieces < t.Pieces {
+	if g.pieces++; g.pieces < t.LeaseParts {
 		return account.QuotaLease{}, false
 	}
 	r := g.rights
--- a/internal/fleet/agentapi/parts_test.go
+++ b/internal/fleet/agentapi/parts_test.go
@@ -46,16 +46,16 @@
 		n := rapid.IntRange(0, 20)
 		w, r := table(n.Draw(t, "routes"), n.Draw(t, "gone"), n.Draw(t, "steered")), dealt(n.Draw(t, "paths")+1, rapid.Bool().Draw(t, "even"))
 		most := rapid.IntRange(1, 2000).Draw(t, "most")
-		tables, rights := TableParts(w, most), RightsParts(r, most)
-		g := Gathering{}
+		tables, rights := SplitTable(w, most), SplitLease(r, most)
+		g := Reassembler{}
 		before := dealt(2, true)
-		g.Rights(&Told{Rights: &before, Deal: 1, Pieces: 1})
-		left := Told{Table: &route.Update{Index: 8, Removed: []string{"of another"}}, Parts: 2, Rights: &account.QuotaLease{HalfEpoch: 6, Allocated: before.Allocated}, Deal: 2, Pieces: 2}
-		g.Table(&left)
-		g.Rights(&left)
+		g.AddLease(&Response{Lease: &before, LeaseNumber: 1, LeaseParts: 1})
+		left := Response{Table: &route.Update{Index: 8, Removed: []string{"of another"}}, TableParts: 2, Lease: &account.QuotaLease{HalfEpoch: 6, Allocated: before.Allocated}, LeaseNumber: 2, LeaseParts: 2}
+		g.AddTable(&left)
+		g.AddLease(&left)
 		for i := range tables {
-			told := Told{Table: &tables[i], Parts: len(tables)}
-			got, ok := g.Table(&told)
+			told := Response{Table: &tables[i], TableParts: len(tables)}
+			got, ok := g.AddTable(&told)
 			if ok != (i == len(tables)-1) || ok && !reflect.DeepEqual(got, w) {
 				t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(tables), ok, got, w)
 			}
@@ -64,14 +64,14 @@
 			r.EvenShares = before.EvenShares
 		}
 		for i := range rights {
-			told := Told{Rights: &rights[i], Deal: 3, Pieces: len(rights)}
-			got, ok := g.Rights(&told)
+			told := Response{Lease: &rights[i], LeaseNumber: 3, LeaseParts: len(rights)}
+			got, ok := g.AddLease(&told)
 			if ok != (i == len(rights)-1) || ok && !reflect.DeepEqual(got, r) {
 				t.Fatalf("piece %d of %d: %v, %+v, want %+v", i, len(rights), ok, got, r)
 			}
 		}
-		said := Said{}
-		if g.Say(&said); said.Even != 3 || said.Deal != 3 || said.Piece != len(rights) || said.Toward != 0 {
+		said := Report{}
+		if g.FillProgress(&said); said.CompleteLeaseNumber != 3 || said.LeaseNumber != 3 || said.LeasePartsReceived != len(rights) || said.PartialTableIndex != 0 {
 			t.Fatalf("%+v", said)
 		}
 	})
@@ -82,16 +82,16 @@
 func TestTheGreatestFits(t *testing.T) {
 	w, r := table(16_384, 0, 1000), dealt(24_576, true)
 	w.Set[7].Owner = strings.Repeat("o", 30_000)
-	tables, rights := TableParts(w, Part), RightsParts(r, Part)
+	tables, rights := SplitTable(w, MaxPartBytes), SplitLease(r, MaxPartBytes)
 	for i := range tables {
-		raw, err := json.Marshal(Told{Table: &tables[i]})
-		if err != nil || len(raw) > Longest {
+		raw, err := json.Marshal(Response{Table: &tables[i]})
+		if err != nil || len(raw) > MaxLineBytes {
 			t.Errorf("%d bytes, %v", len(raw), err)
 		}
 	}
 	for i := range rights {
-		raw, err := json.Marshal(Told{Rights: &rights[i]})
-		if err != nil || len(raw) > Longest {
+		raw, err := json.Marshal(Response{Lease: &rights[i]})
+		if err != nil || len(raw) > MaxLineBytes {
 			t.Errorf("%d bytes, %v", len(raw), err)
 		}
 	}
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -19,29 +19,29 @@
 //
 //	go test ./internal/fleet/agentapi -run TestStored -update
 
-func storedSaid() Said {
-	return Said{
+func storedSaid() Report {
+	return Report{
 		QuotaUsage: balance.QuotaUsage{
 			Period: 101, FirstAttempts: 102.5, Retries: 103.5,
 			Servers: []balance.ServerUsage{{ID: "server-a", Zone: "zone-a", Load: 0.125, StartedAt: 104, WarmingUp: true,
 				ColdBudget: 105.5, Used: 106, RecentAttempts: 107.5, RecentFailures: 108.5}},
 			Zones: []balance.ZoneUsage{{Zone: "zone-b", Used: 109}},
 		},
-		Table: 110, Toward: 111, Part: 112, Deal: 113, Piece: 114, Even: 115,
-		Uses: &account.Usage{Member: "node-a", ReportedAt: 116, HalfEpoch: 117,
+		TableIndex: 110, PartialTableIndex: 111, TablePartsReceived: 112, LeaseNumber: 113, LeasePartsReceived: 114, CompleteLeaseNumber: 115,
+		Usage: &account.Usage{Member: "node-a", ReportedAt: 116, HalfEpoch: 117,
 			Used:       map[string]account.Amounts{"acme": {Connections: 118, Setups: 119, Retries: 120, Probes: 121}},
 			UsedBefore: map[string]account.Amounts{"acme/web": {Connections: 122, Setups: 123, Retries: 124, Probes: 125}},
 			Demand:     map[string]account.Amounts{"acme/web:r": {Connections: 126, Setups: 127, Retries: 128, Probes: 129}}},
 		Samples: []slo.Sample{{Member: "node-b", Zone: "zone-c", Incarnation: 130, Seq: 131, Interval: 132,
 			Regions: []string{"region-a", "region-b"}, Dropped: 133,
 			Measurements: []slo.Measurement{{Contract: "contract-a", RegionIndex: 1, Histogram: slo.Histogram{2, 3, 1, 4}}}}},
-		Contracts: 134,
+		ContractsVersion: 134,
 	}
 }
 
-func storedTold() Told {
+func storedTold() Response {
 	returned, retry := true, true
-	return Told{
+	return Response{
 		QuotaLease: balance.QuotaLease{
 			Period: 201, TokensExpireAt: 202, LeaseDuration: 203, RetryBudget: 204.5, EjectedServers: []string{"server-a", "server-b"}, ShedFraction: 0.25,
 			Servers: []balance.ServerQuota{{ID: "server-c", StartedAt: 205, Tokens: 206}},
@@ -55,28 +55,30 @@
 			Removed:        []string{"acme/web:gone"},
 			Allocations:    []route.Allocation{{Contract: "contract-b", Shares: map[string]float64{"zone-b": 0.625, "zone-c": 0.375}, RejectedShare: 0.0625}},
 			ReadyEndpoints: map[string]int{"zone-b": 210, "zone-c": 211}},
-		Parts: 212,
-		Rights: &account.QuotaLease{HalfEpoch: 213, ExpiresAt: 214, HolderRank: 215, HolderCount: 216,
+		TableParts: 212,
+		Lease: &account.QuotaLease{HalfEpoch: 213, ExpiresAt: 214, HolderRank: 215, HolderCount: 216,
 			Allocated:  map[string]account.Amounts{"acme": {Connections: 217, Setups: 218, Retries: 219, Probes: 220}},
 			EvenShares: map[string]account.Amounts{"acme/web": {Connections: -1, Setups: 221, Retries: 222, Probes: 223}}},
-		Deal: 224, Pieces: 225, More: true,
-		Promised: &Promised{Version: 226, Contracts: []Contract{{Name: "contract-c", Priority: 227, Messages: true}}},
+		LeaseNumber: 224, LeaseParts: 225, More: true,
+		Contracts: &ContractList{Version: 226, Contracts: []Contract{{Name: "contract-c", Priority: 227, MeasuresMessages: true}}},
 	}
 }
 
-func storedAsk() Ask {
-	return Ask{Ask: "propose", Entry: json.RawMessage(`{"kind":"accounts","by":"","at":301,"body":{}}`)}
+func storedAsk() OperatorRequest {
+	return OperatorRequest{Method: "propose", Entry: json.RawMessage(`{"kind":"accounts","by":"","at":301,"body":{}}`)}
 }
 
-func storedRefusal() Refusal { return Refusal{Text: "what became of it is not known", Unknown: true} }
+func storedRefusal() CallError {
+	return CallError{Message: "what became of it is not known", OutcomeUnknown: true}
+}
 
 func storedState() State {
 	return State{
-		Name: "node-a", Zone: "zone-a", Record: "on", Index: 401, Hash: "00ff", Role: "voter", Leader: "node-b", Fresh: true,
-		Heard: 402, Disk: "full", Version: 403, Over: 0.25,
-		Postures: []Seen{{From: "zone-b", To: "zone-c", Posture: "returning", Share: 0.5, Step: 404, Rate: 405.5, Since: 406, Until: 407, Fails: 408}},
-		Bounds:   []Bound{{Zone: "zone-d", Share: 0.75, Rate: 409.5}},
-		Members:  []Peer{{Name: "node-c", Zone: "zone-e", Status: "alive", Record: "127.0.0.1:1", Index: 410, At: 411}},
+		Name: "node-a", Zone: "zone-a", Log: "on", Index: 401, Hash: "00ff", Role: "voter", Leader: "node-b", WithinLease: true,
+		LastContactMillis: 402, DiskError: "full", ZonesVersion: 403, RejectedShare: 0.25,
+		ZoneStatuses: []ZoneStatus{{ObservingZone: "zone-b", Zone: "zone-c", Status: "returning", Share: 0.5, Step: 404, Rate: 405.5, ChangedAtMillis: 406, RetryAtMillis: 407, Failures: 408}},
+		ZoneLimits:   []ZoneLimit{{Zone: "zone-d", Share: 0.75, Rate: 409.5}},
+		Members:      []Member{{Name: "node-c", Zone: "zone-e", Status: "alive", LogAddr: "127.0.0.1:1", Index: 410, ReportedAtMillis: 411}},
 	}
 }
 
@@ -91,14 +93,14 @@
 // storedAgent takes the stored lines alone, and answers with stored ones.
 type storedAgent struct{ t *testing.T }
 
-func (a storedAgent) Answer(said Said) Told {
+func (a storedAgent) HandleReport(said Report) Response {
 	if want := storedSaid(); !reflect.DeepEqual(said, want) {
 		a.t.Errorf("a node's line is read as %+v, want %+v", said, want)
 	}
 	return storedTold()
 }
 
-func (a storedAgent) Operator(_ context.Context, ask Ask) (any, error) {
+func (a storedAgent) HandleOperator(_ context.Context, ask OperatorRequest) (any, error) {
 	if want := storedAsk(); !reflect.DeepEqual(ask, want) {
 		a.t.Errorf("an operator's line is read as %+v, want %+v", ask, want)
 	}
--- a/internal/fleet/agentapi/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -19,7 +19,7 @@
 )
 
 // Longest is how long a line may be, in bytes: some ten thousand next hops.
-const Longest = 2 << 20
+const MaxLineBytes = 2 << 20
 
 // patience is how long an answer may take before the node connects anew.
 const patience = time.Second
@@ -31,44 +31,44 @@
 // parts where it is long, one with each answer. A deal's even parts are left out where they are
 // those of the deal that the node had.
 type (
-	Said struct {
+	Report struct {
 		balance.QuotaUsage
-		Table     uint64         `json:"table,omitempty"`     // index of the table that the node has
-		Toward    uint64         `json:"toward,omitempty"`    // of the one that it is being told,
-		Part      int            `json:"part,omitempty"`      // of which it has so many parts
-		Deal      uint64         `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
-		Piece     int            `json:"piece,omitempty"`     // of which it has so many parts
-		Even      uint64         `json:"even,omitempty"`      // the last that it has whole
-		Uses      *account.Usage `json:"uses,omitempty"`      // what it has used, without member and time
-		Samples   []slo.Sample   `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
-		Contracts uint64         `json:"contracts,omitempty"` // version of those that the node counts by
+		TableIndex          uint64         `json:"table,omitempty"`     // index of the table that the node has
+		PartialTableIndex   uint64         `json:"toward,omitempty"`    // of the one that it is being told,
+		TablePartsReceived  int            `json:"part,omitempty"`      // of which it has so many parts
+		LeaseNumber         uint64         `json:"deal,omitempty"`      // number of the deal that it has, in part or whole,
+		LeasePartsReceived  int            `json:"piece,omitempty"`     // of which it has so many parts
+		CompleteLeaseNumber uint64         `json:"even,omitempty"`      // the last that it has whole
+		Usage               *account.Usage `json:"uses,omitempty"`      // what it has used, without member and time
+		Samples             []slo.Sample   `json:"samples,omitempty"`   // response times by contract, of the parts of time that are over
+		ContractsVersion    uint64         `json:"contracts,omitempty"` // version of those that the node counts by
 	}
-	Told struct {
+	Response struct {
 		balance.QuotaLease
-		Table    *route.Update       `json:"table,omitempty"`    // nil for no news
-		Parts    int                 `json:"parts,omitempty"`    // of the table's news, all told
-		Rights   *account.QuotaLease `json:"rights,omitempty"`   // nil for no news
-		Deal     uint64              `json:"deal,omitempty"`     // their number
-		Pieces   int                 `json:"pieces,omitempty"`   // of the deal, all told
-		More     bool                `json:"more,omitempty"`     // is to be asked for at once
-		Promised *Promised           `json:"promised,omitempty"` // nil for as before
+		Table       *route.Update       `json:"table,omitempty"`    // nil for no news
+		TableParts  int                 `json:"parts,omitempty"`    // of the table's news, all told
+		Lease       *account.QuotaLease `json:"rights,omitempty"`   // nil for no news
+		LeaseNumber uint64              `json:"deal,omitempty"`     // their number
+		LeaseParts  int                 `json:"pieces,omitempty"`   // of the deal, all told
+		More        bool                `json:"more,omitempty"`     // is to be asked for at once
+		Contracts   *ContractList       `json:"promised,omitempty"` // nil for as before
 	}
 )
 
 // Ask is what operators ask an agent: "state", "record", "check" or "propose", the last
 // two about an entry. Nodes' lines have no ask.
-type Ask struct {
-	Ask   string          `json:"ask"`
-	Entry json.RawMessage `json:"entry,omitempty"`
+type OperatorRequest struct {
+	Method string          `json:"ask"`
+	Entry  json.RawMessage `json:"entry,omitempty"`
 }
 
 // Refusal is the answer to an ask that can't be done, and the error that Call makes of it.
-type Refusal struct {
-	Text    string `json:"error"`
-	Unknown bool   `json:"unknown,omitempty"` // what was asked may have been done, or may yet be
+type CallError struct {
+	Message        string `json:"error"`
+	OutcomeUnknown bool   `json:"unknown,omitempty"` // what was asked may have been done, or may yet be
 }
 
-func (r *Refusal) Error() string { return r.Text }
+func (r *CallError) Error() string { return r.Message }
 
 // answering is how long the agent may take for an operator's answer: a record without a
 // leader needs some seconds to say so.
@@ -92,8 +92,8 @@
 	if err := next(lines(conn), &raw); err != nil {
 		return fmt.Errorf("fleet agent %s: %w", addr, err)
 	}
-	var no Refusal
-	if err := json.Unmarshal(raw, &no); err == nil && no.Text != "" {
+	var no CallError
+	if err := json.Unmarshal(raw, &no); err == nil && no.Message != "" {
 		return &no
 	}
 	if err := json.Unmarshal(raw, into); err != nil {
@@ -104,7 +104,7 @@
 
 func lines(conn net.Conn) *bufio.Scanner {
 	s := bufio.NewScanner(conn)
-	s.Buffer(make([]byte, 0, 4096), Longest)
+	s.Buffer(make([]byte, 0, 4096), MaxLineBytes)
 	return s
 }
 
--- a/internal/scenario/accounts/faults.go
+++ b/internal/scenario/accounts/faults.go
@@ -69,7 +69,7 @@
 	}
 	took, came := testbed.Await(ctx, most, func() bool {
 		l, up := s.watch.now(name)
-		return up && l.Fresh && (l.Role == "follower" || l.Role == "voter" || l.Role == "leader")
+		return up && l.WithinLease && (l.Role == "follower" || l.Role == "voter" || l.Role == "leader")
 	})
 	s.SetMetric(step+"_back_ms", max(s.Metric(step+"_back_ms"), float64(took.Milliseconds())))
 	if !came && ctx.Err() == nil {
@@ -126,7 +126,7 @@
 	s.spoiled(lone)
 	s.Proxy.SetBetween([]string{lone}, s.rest(lone), cut)
 	fake.Sleep(ctx, lease+1200*time.Millisecond)
-	if l, up := s.watch.now(lone); up && l.Fresh && l.State.Index < s.committed(time.Now().Add(-lease-200*time.Millisecond)) {
+	if l, up := s.watch.now(lone); up && l.WithinLease && l.State.Index < s.committed(time.Now().Add(-lease-200*time.Millisecond)) {
 		s.AddViolation("fresh", fmt.Sprintf("%s says that its word is fresh, %v after it was cut off", lone, lease+1200*time.Millisecond))
 	}
 	s.mended(lone)
@@ -161,8 +161,8 @@
 		return err
 	}
 	fake.Sleep(ctx, 2500*time.Millisecond)
-	if l, up := s.watch.now(name); !up || l.Disk == "" || l.Role == "leader" {
-		s.AddViolation("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.Disk))
+	if l, up := s.watch.now(name); !up || l.DiskError == "" || l.Role == "leader" {
+		s.AddViolation("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.DiskError))
 	}
 	s.mended(name)
 	if err := s.Agents[name].Disk(false); err != nil {
--- a/internal/scenario/accounts/propose.go
+++ b/internal/scenario/accounts/propose.go
@@ -80,15 +80,15 @@
 	var answer struct {
 		Outcome logentry.Outcome `json:"outcome"`
 	}
-	err = s.Agents[to].Call(agentapi.Ask{Ask: "propose", Entry: raw}, &answer)
+	err = s.Agents[to].Call(agentapi.OperatorRequest{Method: "propose", Entry: raw}, &answer)
 	o.ret = time.Now()
 	<-s.room[to]
-	var no *agentapi.Refusal
+	var no *agentapi.CallError
 	var dial *net.OpError
 	switch {
 	case err == nil:
 		o.end, o.out = decided, answer.Outcome
-	case errors.As(err, &no) && !no.Unknown, errors.As(err, &dial) && dial.Op == "dial":
+	case errors.As(err, &no) && !no.OutcomeUnknown, errors.As(err, &dial) && dial.Op == "dial":
 		o.end, o.why = absent, err.Error()
 	default:
 		o.why = err.Error()
--- a/internal/scenario/accounts/times.go
+++ b/internal/scenario/accounts/times.go
@@ -64,7 +64,7 @@
 	defer s.watch.mu.Unlock()
 	for name, list := range s.watch.looks {
 		for i, l := range list {
-			told := fmt.Sprintf("%s, %v after the start: index %d, fresh %v, word of %d ms ago", name, time.Duration(l.asked.Sub(list[0].asked)).Round(inMs), l.Index, l.Fresh, l.Heard)
+			told := fmt.Sprintf("%s, %v after the start: index %d, fresh %v, word of %d ms ago", name, time.Duration(l.asked.Sub(list[0].asked)).Round(inMs), l.Index, l.WithinLease, l.LastContactMillis)
 			if i > 0 && l.Index < list[i-1].Index && !s.restarted(name, list[i-1].heard, l.heard) {
 				s.AddViolation("falls", fmt.Sprintf("%s; it was %d before", told, list[i-1].Index))
 			}
@@ -79,10 +79,10 @@
 // behind tells what a look lacks: who calls its word fresh has all that was answered a lease
 // ago, and who tells its word's age all that was answered before that.
 func (s *scene) behind(l look, a answered, lacks func(why string)) {
-	if had := a.before(l.asked.Add(-lease - young)); l.Fresh && l.Index < had {
+	if had := a.before(l.asked.Add(-lease - young)); l.WithinLease && l.Index < had {
 		lacks(fmt.Sprintf("index %d was answered a lease before", had))
 	}
-	if had := a.before(l.asked.Add(-time.Duration(l.Heard)*inMs - young)); l.Heard >= 0 && l.Index < had {
+	if had := a.before(l.asked.Add(-time.Duration(l.LastContactMillis)*inMs - young)); l.LastContactMillis >= 0 && l.Index < had {
 		lacks(fmt.Sprintf("index %d was answered before that word", had))
 	}
 }
--- a/internal/scenario/accounts/watch.go
+++ b/internal/scenario/accounts/watch.go
@@ -65,7 +65,7 @@
 // look asks one agent how it stands, and what it holds where that is news.
 func (w *watchers) look(name string, a *testbed.Agent) {
 	l := look{asked: time.Now()}
-	err := a.Call(agentapi.Ask{Ask: "state"}, &l.State)
+	err := a.Call(agentapi.OperatorRequest{Method: "state"}, &l.State)
 	l.heard = time.Now()
 	w.mu.Lock()
 	w.up[name] = err == nil
@@ -79,7 +79,7 @@
 	}
 	var raw json.RawMessage
 	state := &logentry.State{}
-	if a.Call(agentapi.Ask{Ask: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
+	if a.Call(agentapi.OperatorRequest{Method: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
 		return // it has just gone
 	}
 	s := &sight{name, state, sha256.Sum256(raw), time.Now()}
@@ -121,7 +121,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(w.looks)) {
-		if l := w.looks[name][len(w.looks[name])-1]; w.up[name] && l.Role == "leader" && l.Fresh {
+		if l := w.looks[name][len(w.looks[name])-1]; w.up[name] && l.Role == "leader" && l.WithinLease {
 			return name
 		}
 	}
@@ -133,7 +133,7 @@
 	first, _ := w.now(names[0])
 	for _, name := range names {
 		l, up := w.now(name)
-		if !up || !l.Fresh || l.Leader == "" || l.Index != first.Index || l.Hash != first.Hash {
+		if !up || !l.WithinLease || l.Leader == "" || l.Index != first.Index || l.Hash != first.Hash {
 			return false
 		}
 	}
@@ -159,7 +159,7 @@
 	w.mu.Unlock()
 	for _, name := range names {
 		l, up := w.now(name)
-		fmt.Fprintf(&b, "%s up %v index %d hash %.8s role %s leader %q fresh %v disk %q; ", name, up, l.Index, l.Hash, l.Role, l.Leader, l.Fresh, l.Disk)
+		fmt.Fprintf(&b, "%s up %v index %d hash %.8s role %s leader %q fresh %v disk %q; ", name, up, l.Index, l.Hash, l.Role, l.Leader, l.WithinLease, l.DiskError)
 	}
 	return b.String()
 }
--- a/internal/scenario/promises_contracts.go
+++ b/internal/scenario/promises_contracts.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	var answer struct{ Outcome logentry.Outcome }
-	if err := s.Agents[s.Names[0]].Call(agentapi.Ask{Ask: "propose", Entry: raw}, &answer); err != nil {
+	if err := s.Agents[s.Names[0]].Call(agentapi.OperatorRequest{Method: "propose", Entry: raw}, &answer); err != nil {
 		return err
 	}
 	if !answer.Outcome.Accepted {
--- a/internal/scenario/promises_seen.go
+++ b/internal/scenario/promises_seen.go
@@ -86,7 +86,7 @@
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
-		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.Ask{Ask: "record"}, &state); err != nil || state.Contracts.AllocationVersion <= steps {
+		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.OperatorRequest{Method: "record"}, &state); err != nil || state.Contracts.AllocationVersion <= steps {
 			continue // an agent that is behind, or has not met anybody
 		}
 		steps = state.Contracts.AllocationVersion
--- a/internal/scenario/promises_steps.go
+++ b/internal/scenario/promises_steps.go
@@ -59,7 +59,7 @@
 	index := uint64(0)
 	for i, name := range s.Names {
 		var state agentapi.State
-		if err := s.Agents[name].Call(agentapi.Ask{Ask: "state"}, &state); err != nil || !state.Fresh || state.Leader == "" || i > 0 && state.Index != index {
+		if err := s.Agents[name].Call(agentapi.OperatorRequest{Method: "state"}, &state); err != nil || !state.WithinLease || state.Leader == "" || i > 0 && state.Index != index {
 			return false
 		}
 		index = state.Index
--- a/internal/scenario/zones/links.go
+++ b/internal/scenario/zones/links.go
@@ -27,7 +27,7 @@
 	s.Proxy.SetOneWay(s.NodesIn(from, true), append(named(s.ServersIn(to)), s.NodesIn(to, true)...), cut)
 	s.left(ctx, "link", to, s.NodesIn(from, true), begun, leaveBound)
 	s.stays("link", to, s.NodesIn(from, false), begun.Add(leaveBound), time.Now())
-	s.notLeft("link", begun, func(p agentapi.Seen) bool { return p.From != from || p.To != to })
+	s.notLeft("link", begun, func(p agentapi.ZoneStatus) bool { return p.ObservingZone != from || p.Zone != to })
 	s.Proxy.Heal()
 	s.comesBack(ctx, "link")
 	return nil
@@ -44,7 +44,7 @@
 	s.Proxy.SetOneWay(s.Names[:1], named(s.ServersIn(to)), cut)
 	fake.Sleep(ctx, aloneBound)
 	s.stays("one", to, s.Names[1:], begun.Add(leaveBound/2), time.Now())
-	s.notLeft("one", begun, func(p agentapi.Seen) bool { return true })
+	s.notLeft("one", begun, func(p agentapi.ZoneStatus) bool { return true })
 	for name := range s.watch.leaves(to, begun) {
 		s.AddViolation("together", fmt.Sprintf("one: %s, which hears the record, left %s by itself", name, to))
 	}
@@ -65,7 +65,7 @@
 			s.stays("self", zone, s.NodesIn(from, false), begun.Add(leaveBound/2), time.Now())
 		}
 	}
-	s.notLeft("self", begun, func(p agentapi.Seen) bool { return true })
+	s.notLeft("self", begun, func(p agentapi.ZoneStatus) bool { return true })
 	s.Proxy.Heal()
 	s.comesBack(ctx, "self")
 	return nil
@@ -88,18 +88,18 @@
 	}
 	s.left(ctx, "disk", zone, s.Names, begun, leaveBound+electionBound)
 	state, _ := s.watch.state(leader)
-	if next := s.watch.leader(); next == "" || next == leader || state.Disk == "" {
-		s.AddViolation("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.Disk, state.Role, next))
+	if next := s.watch.leader(); next == "" || next == leader || state.DiskError == "" {
+		s.AddViolation("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.DiskError, state.Role, next))
 	}
 	if err := a.Disk(false); err != nil {
 		return err
 	}
 	spoil(s.ServersIn(zone), fake.Healthy)
 	s.comesBack(ctx, "disk")
-	took, came := testbed.Await(ctx, 5*time.Second, func() bool { state, _ = s.watch.state(leader); return state.Disk == "" })
+	took, came := testbed.Await(ctx, 5*time.Second, func() bool { state, _ = s.watch.state(leader); return state.DiskError == "" })
 	s.most("disk_writes_again_ms", took)
 	if !came && ctx.Err() == nil {
-		s.AddViolation("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.Disk))
+		s.AddViolation("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.DiskError))
 	}
 	return nil
 }
@@ -139,7 +139,7 @@
 	zone := s.victim(s.Zone(name)) // nobody alone leaves his own
 	s.Proxy.SetBetween([]string{name}, others, cut)
 	fake.Sleep(ctx, lease+slack)
-	if state, _ := s.watch.state(name); state.Fresh {
+	if state, _ := s.watch.state(name); state.WithinLease {
 		s.AddViolation("lone", fmt.Sprintf("%s hears the record through a cut", name))
 	}
 	begun := time.Now()
@@ -151,7 +151,7 @@
 	_, came := testbed.Await(ctx, 8*time.Second, func() bool {
 		state, _ := s.watch.state(name)
 		other, _ := s.watch.state(others[0])
-		return state.Fresh && state.Index == other.Index && state.Hash == other.Hash
+		return state.WithinLease && state.Index == other.Index && state.Hash == other.Hash
 	})
 	s.most("lone_rejoins_ms", time.Since(healed))
 	if !came && ctx.Err() == nil {
--- a/internal/scenario/zones/steps.go
+++ b/internal/scenario/zones/steps.go
@@ -44,7 +44,7 @@
 	}
 	s.comesBack(ctx, "cold")
 	steps := map[int]bool{}
-	for _, p := range s.watch.seen(back, func(p agentapi.Seen) bool { return p.To == zone && p.Step > 0 }) {
+	for _, p := range s.watch.seen(back, func(p agentapi.ZoneStatus) bool { return p.Zone == zone && p.Step > 0 }) {
 		steps[p.Step] = true
 	}
 	s.SetMetric("cold_steps_seen", float64(len(steps)))
@@ -99,9 +99,9 @@
 	if float64(got) < 0.3*usual {
 		s.AddViolation("half", fmt.Sprintf("the sound servers of %s got %d first lines, about %.0f are usual", zone, got, usual))
 	}
-	s.notLeft("half", begun, func(p agentapi.Seen) bool { return p.To == zone })
+	s.notLeft("half", begun, func(p agentapi.ZoneStatus) bool { return p.Zone == zone })
 	least := 1.0
-	for _, p := range s.watch.seen(begun, func(p agentapi.Seen) bool { return p.To == zone }) {
+	for _, p := range s.watch.seen(begun, func(p agentapi.ZoneStatus) bool { return p.Zone == zone }) {
 		least = min(least, p.Share)
 	}
 	s.SetMetric("half_least_share", least)
@@ -113,9 +113,9 @@
 }
 
 // notLeft holds the record to having left none of some pairs.
-func (s *scene) notLeft(step string, since time.Time, pairs func(p agentapi.Seen) bool) {
-	for _, p := range s.watch.seen(since, func(p agentapi.Seen) bool { return pairs(p) && gone(p.Posture) }) {
-		s.AddViolation("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.From, p.To))
+func (s *scene) notLeft(step string, since time.Time, pairs func(p agentapi.ZoneStatus) bool) {
+	for _, p := range s.watch.seen(since, func(p agentapi.ZoneStatus) bool { return pairs(p) && gone(p.Status) }) {
+		s.AddViolation("accuse", fmt.Sprintf("%s: %s left %s, which serves", step, p.ObservingZone, p.Zone))
 		return
 	}
 }
@@ -192,7 +192,7 @@
 
 // leftAt is when one viewpoint left a zone: times more than apart from one another.
 func (s *scene) leftAt(from, zone string, since time.Time, apart time.Duration) (left []time.Time) {
-	for _, p := range s.watch.seen(since, func(p agentapi.Seen) bool { return p.From == from && p.To == zone && gone(p.Posture) }) {
+	for _, p := range s.watch.seen(since, func(p agentapi.ZoneStatus) bool { return p.ObservingZone == from && p.Zone == zone && gone(p.Status) }) {
 		if n := len(left); n == 0 || p.at.Sub(left[n-1]) > apart {
 			left = append(left, p.at)
 		}
--- a/internal/scenario/zones/watch.go
+++ b/internal/scenario/zones/watch.go
@@ -45,7 +45,7 @@
 
 // postureSeen is that the record has another posture.
 type postureSeen struct {
-	agentapi.Seen
+	agentapi.ZoneStatus
 	at time.Time
 }
 
@@ -56,7 +56,7 @@
 		w.wg.Go(func() {
 			for {
 				var state agentapi.State
-				err := a.Call(agentapi.Ask{Ask: "state"}, &state)
+				err := a.Call(agentapi.OperatorRequest{Method: "state"}, &state)
 				w.heard(name, state, err == nil)
 				if !fake.Sleep(ctx, looks) {
 					return
@@ -80,20 +80,20 @@
 		delete(w.now, name)
 		return
 	}
-	was, is, now := shares(w.now[name].Bounds), shares(s.Bounds), time.Now()
+	was, is, now := shares(w.now[name].ZoneLimits), shares(s.ZoneLimits), time.Now()
 	for zone := range union(was, is) {
 		if share(was, zone) != share(is, zone) {
 			w.bounds = append(w.bounds, boundSeen{name, zone, share(is, zone), now})
 		}
 	}
 	w.now[name] = s
-	if s.Version <= w.version {
+	if s.ZonesVersion <= w.version {
 		return
 	}
-	w.version = s.Version
-	w.overs = append(w.overs, overSeen{s.Over, now})
-	for _, p := range s.Postures {
-		if i := slices.IndexFunc(w.postures, func(o postureSeen) bool { return o.From == p.From && o.To == p.To }); i < 0 || w.last(p.From, p.To).Seen != p {
+	w.version = s.ZonesVersion
+	w.overs = append(w.overs, overSeen{s.RejectedShare, now})
+	for _, p := range s.ZoneStatuses {
+		if i := slices.IndexFunc(w.postures, func(o postureSeen) bool { return o.ObservingZone == p.ObservingZone && o.Zone == p.Zone }); i < 0 || w.last(p.ObservingZone, p.Zone).ZoneStatus != p {
 			w.postures = append(w.postures, postureSeen{p, now})
 		}
 	}
@@ -102,14 +102,14 @@
 // last is the latest posture that was seen of a pair; the lock is held.
 func (w *watchers) last(from, to string) (p postureSeen) {
 	for _, o := range w.postures {
-		if o.From == from && o.To == to {
+		if o.ObservingZone == from && o.Zone == to {
 			p = o
 		}
 	}
 	return p
 }
 
-func shares(bounds []agentapi.Bound) map[string]float64 {
+func shares(bounds []agentapi.ZoneLimit) map[string]float64 {
 	m := map[string]float64{}
 	for _, b := range bounds {
 		m[b.Zone] = b.Share
@@ -144,7 +144,7 @@
 	defer w.mu.Unlock()
 	votes, best := map[string]int{}, ""
 	for _, name := range slices.Sorted(maps.Keys(w.now)) {
-		if s := w.now[name]; s.Fresh && s.Leader != "" {
+		if s := w.now[name]; s.WithinLease && s.Leader != "" {
 			if votes[s.Leader]++; votes[s.Leader] > votes[best] || best == "" {
 				best = s.Leader
 			}
@@ -159,10 +159,10 @@
 	defer w.mu.Unlock()
 	for _, name := range names {
 		s, ok := w.now[name]
-		if !ok || !s.Fresh || s.Leader == "" || s.Over > 0 || s.Index != w.now[names[0]].Index || s.Hash != w.now[names[0]].Hash {
+		if !ok || !s.WithinLease || s.Leader == "" || s.RejectedShare > 0 || s.Index != w.now[names[0]].Index || s.Hash != w.now[names[0]].Hash {
 			return false
 		}
-		for _, b := range s.Bounds {
+		for _, b := range s.ZoneLimits {
 			if b.Share < 1 {
 				return false
 			}
@@ -185,11 +185,11 @@
 }
 
 // seen are the postures that the record took since a time, of those that fit.
-func (w *watchers) seen(since time.Time, fits func(p agentapi.Seen) bool) (list []postureSeen) {
+func (w *watchers) seen(since time.Time, fits func(p agentapi.ZoneStatus) bool) (list []postureSeen) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.postures {
-		if p.at.After(since) && fits(p.Seen) {
+		if p.at.After(since) && fits(p.ZoneStatus) {
 			list = append(list, p)
 		}
 	}
@@ -215,7 +215,7 @@
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(w.now)) {
 		s := w.now[name]
-		fmt.Fprintf(&b, "%s index %d leader %q fresh %v over %g bounds %v; ", name, s.Index, s.Leader, s.Fresh, s.Over, s.Bounds)
+		fmt.Fprintf(&b, "%s index %d leader %q fresh %v over %g bounds %v; ", name, s.Index, s.Leader, s.WithinLease, s.RejectedShare, s.ZoneLimits)
 	}
 	return b.String()
 }
