--- a/cmd/coralctl/account.go
+++ b/cmd/coralctl/account.go
@@ -32,7 +32,7 @@
 }
 
 func (c *accountKeyCmd) Run() error {
-	path, public, err := keyfile.NewAuthority(filepath.Dir(c.File), filepath.Base(c.File))
+	path, public, err := keyfile.CreateAuthority(filepath.Dir(c.File), filepath.Base(c.File))
 	if err == nil {
 		fmt.Printf("key %s in %s\npublic %s\n", account.KeyName(public), path, base64.StdEncoding.EncodeToString(public))
 	}
--- a/cmd/coralctl/account_test.go
+++ b/cmd/coralctl/account_test.go
@@ -42,11 +42,11 @@
 
 func TestAccountCommands(t *testing.T) {
 	dir := t.TempDir()
-	_, root, err := keyfile.NewAuthority(dir, "root")
+	_, root, err := keyfile.CreateAuthority(dir, "root")
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, team, err := keyfile.NewAuthority(dir, "team")
+	_, team, err := keyfile.CreateAuthority(dir, "team")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -93,10 +93,10 @@
 }
 
 func (c *keyNewCmd) Run() error {
-	if !keyfile.Has(c.Folder) {
+	if !keyfile.HasKeys(c.Folder) {
 		c.SignsFrom = 0
 	}
-	path, id, err := keyfile.New(c.Folder, time.Now().Add(c.SignsFrom))
+	path, id, err := keyfile.Create(c.Folder, time.Now().Add(c.SignsFrom))
 	if err == nil {
 		fmt.Printf("key %v in %s, signs in %v\n", id, path, c.SignsFrom)
 	}
--- a/cmd/coralrelay/resume_test.go
+++ b/cmd/coralrelay/resume_test.go
@@ -79,7 +79,7 @@
 	own := operatorconfig.Default()
 	own.Resume.Enabled, own.Resume.Keys = true, filepath.Join(t.TempDir(), "keys")
 	own.Resume.ReplayGuard.Dir = t.TempDir()
-	if _, _, err := keyfile.New(own.Resume.Keys, time.Now().Add(-time.Minute)); err != nil {
+	if _, _, err := keyfile.Create(own.Resume.Keys, time.Now().Add(-time.Minute)); err != nil {
 		t.Fatal(err)
 	}
 	return own
--- a/internal/keyfile/authority.go
+++ b/internal/keyfile/authority.go
@@ -18,7 +18,7 @@
 // NewAuthority writes a fresh Ed25519 key that signs changes of accounts into a file of that
 // name, which must not exist, and returns its path and public key. Folders of resume keys
 // are another place: every file *.key there is read as one.
-func NewAuthority(folder, name string) (path string, public ed25519.PublicKey, err error) {
+func CreateAuthority(folder, name string) (path string, public ed25519.PublicKey, err error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return "", nil, err
--- a/internal/keyfile/authority_test.go
+++ b/internal/keyfile/authority_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestAuthority(t *testing.T) {
-	path, public, err := NewAuthority(t.TempDir(), "root.authority")
+	path, public, err := CreateAuthority(t.TempDir(), "root.authority")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 	if _, err := LoadAuthority(path); err == nil || !strings.Contains(err.Error(), "others may read it") {
 		t.Errorf("readable by all: %v", err)
 	}
-	if _, _, err := NewAuthority(t.TempDir()+"/new", "a"); err != nil {
+	if _, _, err := CreateAuthority(t.TempDir()+"/new", "a"); err != nil {
 		t.Errorf("a new folder: %v", err)
 	}
 }
--- a/internal/keyfile/keyfile.go
+++ b/internal/keyfile/keyfile.go
@@ -29,7 +29,7 @@
 
 // New writes a fresh key into the folder, which signs from the given time on, and
 // returns its file.
-func New(folder string, signsFrom time.Time) (path string, id resumetoken.KeyID, err error) {
+func Create(folder string, signsFrom time.Time) (path string, id resumetoken.KeyID, err error) {
 	var raw [4 + resumetoken.SecretSize]byte
 	if _, err := rand.Read(raw[:]); err != nil {
 		return "", 0, err
@@ -52,7 +52,7 @@
 func files(folder string) ([]string, error) { return filepath.Glob(filepath.Join(folder, "*"+suffix)) }
 
 // Has tells whether the folder has a key.
-func Has(folder string) bool {
+func HasKeys(folder string) bool {
 	paths, err := files(folder)
 	return err == nil && len(paths) > 0
 }
--- a/internal/keyfile/keyfile_test.go
+++ b/internal/keyfile/keyfile_test.go
@@ -13,11 +13,11 @@
 	if _, err := Load(dir); err == nil || !strings.Contains(err.Error(), "coralctl key new") {
 		t.Errorf("no folder: %v", err)
 	}
-	path, id, err := New(dir, time.Now().Add(-time.Minute))
+	path, id, err := Create(dir, time.Now().Add(-time.Minute))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := New(dir, time.Now().Add(time.Hour)); err != nil {
+	if _, _, err := Create(dir, time.Now().Add(time.Hour)); err != nil {
 		t.Fatal(err)
 	}
 	r, err := Load(dir)
--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -77,7 +77,7 @@
 	if *update {
 		_ = os.RemoveAll("testdata/stored/keys")
 		for _, from := range []time.Time{signsFirst, signsNext} {
-			if _, _, err := New("testdata/stored/keys", from); err != nil {
+			if _, _, err := Create("testdata/stored/keys", from); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -109,7 +109,7 @@
 	if got := ring.Keys(); !reflect.DeepEqual(got, want) {
 		t.Errorf("read %+v, want %+v", got, want)
 	}
-	path, id, err := New(t.TempDir(), signsNext)
+	path, id, err := Create(t.TempDir(), signsNext)
 	if err != nil || filepath.Base(path) != id.String()+".key" {
 		t.Fatalf("key %v is written to %s: %v", id, path, err)
 	}
@@ -119,7 +119,7 @@
 func TestReadsStoredAuthority(t *testing.T) {
 	if *update {
 		_ = os.RemoveAll("testdata/stored/authority")
-		if _, _, err := NewAuthority("testdata/stored/authority", "root.authority"); err != nil {
+		if _, _, err := CreateAuthority("testdata/stored/authority", "root.authority"); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -135,7 +135,7 @@
 	if got, want := hex.EncodeToString(public), "328283e1c3abcc953609b2eb1f4551625caae0a473ab55fa5c5aed25a2f72c83"; got != want {
 		t.Errorf("read public key %s, want %s", got, want)
 	}
-	path, _, err := NewAuthority(t.TempDir(), "root.authority")
+	path, _, err := CreateAuthority(t.TempDir(), "root.authority")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -126,7 +126,7 @@
 		mutation = s.Mutation
 	}
 	s.keys = filepath.Join(dir, "keys")
-	if _, _, err := keyfile.New(s.keys, time.Now().Add(-time.Second)); err != nil {
+	if _, _, err := keyfile.Create(s.keys, time.Now().Add(-time.Second)); err != nil {
 		return err
 	}
 	if err := s.loadKeys(); err != nil {
--- a/internal/scenario/resume_play.go
+++ b/internal/scenario/resume_play.go
@@ -70,7 +70,7 @@
 
 // rotate puts a second key in force while the scene runs.
 func (s *scene) rotate() error {
-	if _, _, err := keyfile.New(s.keys, time.Now().Add(time.Second)); err != nil {
+	if _, _, err := keyfile.Create(s.keys, time.Now().Add(time.Second)); err != nil {
 		return err
 	}
 	s.AddMetric("key rotations", 1)
