--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -54,5 +54,5 @@
 // listed; a quarter is theirs whatever the list says.
 func (d descriptors) callers(listed int) int {
 	left := max(d.all-d.fixed-listed, d.all/4)
-	return left - downstream.Partings(left*16/17)
+	return left - downstream.LingeringSockets(left*16/17)
 }
--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -149,13 +149,13 @@
 }
 
 func (o operations) Metrics() string {
-	return o.book.Text(metrics.Gauges{Open: o.Open(), Listed: o.hops.EndpointCount(), Avoided: o.core.AvoidedCount()})
+	return o.book.Text(metrics.Gauges{Open: o.OpenSessions(), Listed: o.hops.EndpointCount(), Avoided: o.core.AvoidedCount()})
 }
 
 func (o operations) LameDuck() {
 	now := time.Now()
 	slog.Info("emptying the node, as an operator asked")
-	o.Server.LameDuck(downstream.Plan{Refuse: now.Add(drainRefuse), From: now.Add(drainFrom), Until: now.Add(drainOver), End: now.Add(noEnd)})
+	o.Server.LameDuck(downstream.DrainPlan{RejectAt: now.Add(drainRefuse), MoveStartAt: now.Add(drainFrom), MoveEndAt: now.Add(drainOver), EndAt: now.Add(noEnd)})
 }
 
 func (o operations) Rejoin() {
--- a/cmd/coralrelay/plan_test.go
+++ b/cmd/coralrelay/plan_test.go
@@ -12,11 +12,11 @@
 	begun := time.Unix(1, 0)
 	for longest, from := range map[time.Duration]time.Duration{300 * ms: 400 * ms, 400 * ms: 400 * ms, 1800 * ms: 900 * ms, longestDrain: 1500 * ms} {
 		p := ending(begun, longest)
-		if got := p.From.Sub(begun); got != from || p.Refuse != begun {
+		if got := p.MoveStartAt.Sub(begun); got != from || p.RejectAt != begun {
 			t.Errorf("%v: moves begin after %v, want %v", longest, got, from)
 		}
-		if p.Until.Before(p.From) || !p.Until.Before(p.End) || p.End.Sub(begun) > longest+700*ms {
-			t.Errorf("%v: moves until %v, the end after %v", longest, p.Until.Sub(begun), p.End.Sub(begun))
+		if p.MoveEndAt.Before(p.MoveStartAt) || !p.MoveEndAt.Before(p.EndAt) || p.EndAt.Sub(begun) > longest+700*ms {
+			t.Errorf("%v: moves until %v, the end after %v", longest, p.MoveEndAt.Sub(begun), p.EndAt.Sub(begun))
 		}
 	}
 }
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -37,7 +37,7 @@
 	}
 	l.book.AddClasses(names...) // before anybody is served by them
 	l.hops.SetLimits(hopLimits(c.Settings))
-	l.server.SetPause(pause(c.Settings.Limits))
+	l.server.SetRetryAfter(pause(c.Settings.Limits))
 	l.current = c
 }
 
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -75,19 +75,19 @@
 		return err
 	}
 	room := shareOut(c, own, place)
-	limits := downstream.Limits{Sockets: room.callers(len(c.Known.Endpoints)), Pause: pause(c.Settings.Limits)}
+	limits := downstream.Limits{Sockets: room.callers(len(c.Known.Endpoints)), RetryAfter: pause(c.Settings.Limits)}
 	other := &neighbour{place: place}
 	if place != nil {
-		limits.Elsewhere = other.elsewhere
+		limits.UsedElsewhere = other.elsewhere
 	}
 	server := downstream.New(core, hops, limits)
-	lists.listed = func(n int) { server.Limit(room.callers(n)) }
+	lists.listed = func(n int) { server.SetSocketLimit(room.callers(n)) }
 	book := &metrics.Registry{}
 	inForce := &live{core: core, hops: hops, server: server, watch: watch, book: book}
 	inForce.take(c)
-	server.Figures = book
+	server.Metrics = book
 	if place != nil {
-		used := func() int { return server.Sockets() + hops.EndpointCount() }
+		used := func() int { return server.SocketsInUse() + hops.EndpointCount() }
 		parts.Go(func() { other.watch(ctx, c.Limits, used, inForce.beside) })
 	}
 	resume, err := startResume(ctx, &parts, c.Name, own.Resume)
@@ -95,7 +95,7 @@
 		return err
 	}
 	if resume != nil {
-		server.Continuities = resume.sessions
+		server.Resumptions = resume.sessions
 	}
 	if err := startMgmt(ctx, &parts, c.AdminAddr, operations{server, hops, core, book}); err != nil {
 		return err
@@ -119,7 +119,7 @@
 	}
 	turnAway := func() { // before anything that may take its time
 		if !place.IsSiblingAlive() {
-			server.Leave(time.Now())
+			server.StartDraining(time.Now())
 		}
 	}
 	if terminate.Err() != nil { // in the start: nobody is taken at all
@@ -148,10 +148,10 @@
 	plan := ending(begun, longest)
 	if succeeded { // who connects from now on is the successor's, who was accepted before is served
 		_ = listener.Close()
-		plan.Refuse, plan.From = plan.End, begun
+		plan.RejectAt, plan.MoveStartAt = plan.EndAt, begun
 		if g := heir(place); g != nil {
 			g.SendLearnedState(core.ExportLearnedState())
-			plan.Heir = g
+			plan.Successor = g
 			defer g.Close()
 		}
 	}
@@ -161,9 +161,9 @@
 }
 
 // ending is how a planned restart goes where the longest deadline is so long.
-func ending(begun time.Time, longest time.Duration) downstream.Plan {
+func ending(begun time.Time, longest time.Duration) downstream.DrainPlan {
 	end := begun.Add(longest + afterDrain)
-	return downstream.Plan{Refuse: begun, From: begun.Add(max(longest/2, arriving)), Until: end.Add(-3 * afterDrain / 4), End: end}
+	return downstream.DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(max(longest/2, arriving)), MoveEndAt: end.Add(-3 * afterDrain / 4), EndAt: end}
 }
 
 // pause is asked of callers that are refused unseen, where the settings allow it.
--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -17,7 +17,7 @@
 )
 
 // Decider takes transactions; each is then owed one final answer. *decide.Core does.
-type Decider interface {
+type Dispatcher interface {
 	proxy.Observer
 	Submit(item dispatch.Placement, b dispatch.AttemptStarter)
 	Adopt(item dispatch.Placement, server string) bool // of one that stands there already
@@ -25,33 +25,33 @@
 
 // Continuities gives a caller that asks for it what lets it go on where it was
 // when it is moved; nil if nothing does.
-type Continuities interface {
-	Continuity(o *lineproto.ConnectRequest) proxy.Resumption
+type ResumptionProvider interface {
+	Resumption(o *lineproto.ConnectRequest) proxy.Resumption
 }
 
 // Limits bound what callers may use.
 type Limits struct {
 	// Sockets may be in use: one for a caller, one more for its branch. Those that are
 	// seen off may use Partings(Sockets) beside them.
-	Sockets int
-	Pause   time.Duration // asked of callers who are refused unseen; 0 if none may be
+	Sockets    int
+	RetryAfter time.Duration // asked of callers who are refused unseen; 0 if none may be
 	// Elsewhere is how many of them a process beside this one uses; nil where there can
 	// be none. It returns at once.
-	Elsewhere func() int
+	UsedElsewhere func() int
 }
 
 // Server serves callers.
 type Server struct {
-	Continuities Continuities      // nil where it is not switched on; set before Serve
-	Figures      *metrics.Registry // nil if nobody asks; set before Serve
+	Resumptions ResumptionProvider // nil where it is not switched on; set before Serve
+	Metrics     *metrics.Registry  // nil if nobody asks; set before Serve
 
-	decider  Decider
-	branches dispatch.AttemptStarter // to next hops of the line protocol
-	limits   Limits
-	pause    atomic.Int64 // limits.Pause, which may change
-	bad      logging.Throttled
-	failed   logging.Throttled
-	freed    chan struct{} // a leg has ended: there may be room for another
+	decider    Dispatcher
+	branches   dispatch.AttemptStarter // to next hops of the line protocol
+	limits     Limits
+	retryAfter atomic.Int64 // limits.Pause, which may change
+	bad        logging.Throttled
+	failed     logging.Throttled
+	freed      chan struct{} // a leg has ended: there may be room for another
 
 	mu       sync.Mutex
 	accepts  bool                    // Serve runs
@@ -70,25 +70,25 @@
 }
 
 // New returns a Server that keeps to the limits.
-func New(d Decider, b dispatch.AttemptStarter, l Limits) *Server {
+func New(d Dispatcher, b dispatch.AttemptStarter, l Limits) *Server {
 	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Session]bool{},
 		legs: map[net.Conn]struct{}{}, freed: make(chan struct{}, 1)}
-	s.SetPause(l.Pause)
+	s.SetRetryAfter(l.RetryAfter)
 	return s
 }
 
 // SetPause changes what callers who are refused unseen are asked to wait.
-func (s *Server) SetPause(d time.Duration) { s.pause.Store(int64(d)) }
+func (s *Server) SetRetryAfter(d time.Duration) { s.retryAfter.Store(int64(d)) }
 
 // Sockets is how many are in use, or may be.
-func (s *Server) Sockets() int {
+func (s *Server) SocketsInUse() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.legs) + len(s.running)
 }
 
 // Open counts the connections that were taken and have not ended.
-func (s *Server) Open() int {
+func (s *Server) OpenSessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.running)
@@ -105,7 +105,7 @@
 // connections stay the giver's.
 func (s *Server) Adopt(st proxy.EstablishedSession, caller, hop net.Conn) bool {
 	t := proxy.Inherit(st, lineproto.Codec{}, s.decider, caller, hop)
-	t.Metrics = s.Figures.Class(st.Class)
+	t.Metrics = s.Metrics.Class(st.Class)
 	s.mu.Lock()
 	ended := s.ended
 	if !ended {
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -84,7 +84,7 @@
 	}
 	end := func(s *Server, _ func()) {
 		now := time.Now()
-		s.Drain(Plan{Refuse: now, From: now, Until: now.Add(time.Second), End: now.Add(time.Second)})
+		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now.Add(time.Second), EndAt: now.Add(time.Second)})
 	}
 	tests := []told{
 		{name: "rests", want: "BUSY 500"},
@@ -102,7 +102,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			d, l := make(decider, 8), make(door)
-			s := New(d, nil, Limits{Sockets: 4, Pause: 500 * time.Millisecond})
+			s := New(d, nil, Limits{Sockets: 4, RetryAfter: 500 * time.Millisecond})
 			served := make(chan error, 1)
 			go func() { served <- s.Serve(l) }()
 			near, far := pair(t)
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -18,20 +18,20 @@
 
 // Plan says how the node is emptied. Every standing connection is moved, evenly
 // between two times, those that come up later at once.
-type Plan struct {
-	Refuse      time.Time // newcomers get the busy answer from then on
-	From, Until time.Time
+type DrainPlan struct {
+	RejectAt               time.Time // newcomers get the busy answer from then on
+	MoveStartAt, MoveEndAt time.Time
 	// End is when there is no more time to wait for who is left. A read-out before it, who
 	// still rests and what is not answered get their last answer, and who stands is moved.
-	End time.Time
+	EndAt time.Time
 	// Heir is a process that goes on with what stands, and with what comes up later, in
 	// place of all moves; nil if there is none.
-	Heir proxy.Successor
+	Successor proxy.Successor
 }
 
 // Leave has the node emptied for good: what comes on callers' connections from then on gets
 // the busy answer. Drain has to follow.
-func (s *Server) Leave(refuse time.Time) {
+func (s *Server) StartDraining(refuse time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.rejoined != nil { // what an operator began goes on by another plan
@@ -42,24 +42,24 @@
 }
 
 // Drain empties the node for good. It returns when all are gone, or at the plan's end.
-func (s *Server) Drain(p Plan) {
-	s.Leave(p.Refuse)
+func (s *Server) Drain(p DrainPlan) {
+	s.StartDraining(p.RejectAt)
 	s.mu.Lock()
-	s.end = p.End
+	s.end = p.EndAt
 	s.mu.Unlock()
 	s.empty(context.Background(), p)
 }
 
 // LameDuck empties the node until Rejoin. It returns at once, and changes nothing if
 // the node is being emptied already.
-func (s *Server) LameDuck(p Plan) {
+func (s *Server) LameDuck(p DrainPlan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.leaving, s.refuseAt, s.rejoined = true, p.Refuse, cancel
+	s.leaving, s.refuseAt, s.rejoined = true, p.RejectAt, cancel
 	s.wg.Go(func() { s.empty(ctx, p) })
 }
 
@@ -75,29 +75,29 @@
 
 // empty moves what stands by the plan, until ctx ends. If that never does, it returns
 // once nobody is left and nobody comes any more; else who comes late is moved too.
-func (s *Server) empty(ctx context.Context, p Plan) {
+func (s *Server) empty(ctx context.Context, p DrainPlan) {
 	begun, due := time.Now(), 0.0 // moves that the pace allows by now
-	last := p.End.Add(-parted)
-	until, forGood := earlier(p.Until, last), ctx.Done() == nil
+	last := p.EndAt.Add(-parted)
+	until, forGood := earlier(p.MoveEndAt, last), ctx.Done() == nil
 	tick := time.NewTicker(step)
 	defer tick.Stop()
-	for now := begun; now.Before(p.End); {
+	for now := begun; now.Before(p.EndAt); {
 		standing, resting, others := s.standing()
 		if quiet := len(standing)+others == 0 && now.Sub(begun) > arrivals; forGood {
 			if quiet && resting == 0 {
 				return
 			}
-			if quiet && !now.Before(p.Refuse) || !now.Before(last) {
+			if quiet && !now.Before(p.RejectAt) || !now.Before(last) {
 				s.lastCall()
 			}
 		}
 		n := len(standing)
-		if p.Heir != nil {
+		if p.Successor != nil {
 			for _, t := range standing {
-				t.HandOver(p.Heir)
+				t.HandOver(p.Successor)
 			}
 			n = 0
-		} else if now.Before(p.From) {
+		} else if now.Before(p.MoveStartAt) {
 			n = 0
 		} else if left := until.Sub(now); left > step {
 			due += float64(n) * step.Seconds() / left.Seconds()
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -83,8 +83,8 @@
 	}
 
 	begun := time.Now()
-	plan := Plan{Refuse: begun, From: begun.Add(200 * time.Millisecond), Until: begun.Add(500 * time.Millisecond),
-		End: begun.Add(900 * time.Millisecond)}
+	plan := DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(200 * time.Millisecond), MoveEndAt: begun.Add(500 * time.Millisecond),
+		EndAt: begun.Add(900 * time.Millisecond)}
 	drained := make(chan time.Duration, 1)
 	go func() { s.Drain(plan); drained <- time.Since(begun) }()
 	for s.AcceptsClients() {
@@ -151,7 +151,7 @@
 			time.Sleep(time.Second)
 			rests := come("")
 			begun := time.Now()
-			plan := Plan{Refuse: begun, From: begun.Add(time.Second), Until: begun.Add(2 * time.Second), End: begun.Add(2400 * time.Millisecond)}
+			plan := DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(time.Second), MoveEndAt: begun.Add(2 * time.Second), EndAt: begun.Add(2400 * time.Millisecond)}
 			drained := make(chan time.Duration, 1)
 			go func() { s.Drain(plan); drained <- time.Since(begun) }()
 			if stands {
@@ -206,7 +206,7 @@
 	drained := make(chan struct{})
 	go func() {
 		now := time.Now()
-		s.Drain(Plan{Refuse: now, From: now, Until: now, End: now.Add(parted + 100*time.Millisecond)})
+		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now, EndAt: now.Add(parted + 100*time.Millisecond)})
 		close(drained)
 	}()
 	for { // until newcomers are seen off unread
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -79,15 +79,15 @@
 	t := proxy.New(proxy.Request{ID: o.ID, Class: o.Class, Key: o.Key, Group: o.Group, Tenant: o.Tenant, CurrentServer: o.Endpoint,
 		Hint: o.Hint, Retry: o.Retry, Returned: o.Returned, Deadline: time.Now().Add(min(o.Patience, longestWait) - margin)},
 		&o, lineproto.Codec{}, s.decider, l)
-	t.Metrics = s.Figures.Class(o.Class)
+	t.Metrics = s.Metrics.Class(o.Class)
 	if !s.admit(t, v) {
 		if s.seeOff(v, l, s.busy()) == nil {
 			t.Metrics.Rejected()
 		}
 		return
 	}
-	if s.Continuities != nil && o.ResumeToken != "" {
-		t.Resumption = s.Continuities.Continuity(&o)
+	if s.Resumptions != nil && o.ResumeToken != "" {
+		t.Resumption = s.Resumptions.Resumption(&o)
 	}
 	s.decider.Submit(t, s.branches)
 	s.submitted(t)
@@ -124,4 +124,4 @@
 }
 
 // busy words the busy answer to who is refused unseen.
-func (s *Server) busy() string { return lineproto.Codec{}.Busy(time.Duration(s.pause.Load())) }
+func (s *Server) busy() string { return lineproto.Codec{}.Busy(time.Duration(s.retryAfter.Load())) }
--- a/internal/downstream/room.go
+++ b/internal/downstream/room.go
@@ -24,10 +24,10 @@
 
 // Partings is how many sockets those may use that are seen off, beside the given ones of
 // callers and their branches.
-func Partings(sockets int) int { return max(4, sockets/16) }
+func LingeringSockets(sockets int) int { return max(4, sockets/16) }
 
 // Limit changes how many sockets callers and their branches may use.
-func (s *Server) Limit(sockets int) {
+func (s *Server) SetSocketLimit(sockets int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits.Sockets = sockets
@@ -37,8 +37,8 @@
 // two, under the lock.
 func (s *Server) used() int {
 	n := len(s.legs) - s.partings + len(s.running)
-	if s.limits.Elsewhere != nil {
-		n += s.limits.Elsewhere()
+	if s.limits.UsedElsewhere != nil {
+		n += s.limits.UsedElsewhere()
 	}
 	return n
 }
@@ -60,7 +60,7 @@
 func (s *Server) full() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	most := Partings(s.limits.Sockets) / 2
+	most := LingeringSockets(s.limits.Sockets) / 2
 	if s.partings < most && s.used() >= s.limits.Sockets {
 		s.partOldest(nil)
 	}
@@ -102,7 +102,7 @@
 	if !v.since.IsZero() || s.leaving && !time.Now().Before(s.refuseAt) {
 		return false
 	}
-	if s.used() >= s.limits.Sockets && (s.partings >= Partings(s.limits.Sockets) || !s.partOldest(v)) {
+	if s.used() >= s.limits.Sockets && (s.partings >= LingeringSockets(s.limits.Sockets) || !s.partOldest(v)) {
 		return false
 	}
 	s.resting.Remove(v.place)
--- a/internal/downstream/room_test.go
+++ b/internal/downstream/room_test.go
@@ -20,7 +20,7 @@
 
 func (c *counted) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
-	c.most.Store(max(c.most.Load(), int64(c.s.Sockets())))
+	c.most.Store(max(c.most.Load(), int64(c.s.SocketsInUse())))
 	return conn, err
 }
 
@@ -60,7 +60,7 @@
 			usual.Close()
 		}
 	}
-	if most, bound := l.most.Load(), int64(sockets+Partings(sockets)); most > bound {
+	if most, bound := l.most.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
 		t.Errorf("%d sockets were in use, %d allowed", most, bound)
 	}
 	if most := l.most.Load(); most < sockets {
@@ -84,7 +84,7 @@
 		fmt.Fprintf(far, "OPEN a%d k c=feed,d=40000\r\n", i)
 		<-p.taken
 	}
-	s.Limit(8)
+	s.SetSocketLimit(8)
 	for range 20 {
 		near, far := pair(t)
 		l <- near
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -139,9 +139,9 @@
 					time.Sleep(10 * ms)
 				}
 				begun := time.Now() // as SIGTERM does it
-				server.Drain(downstream.Plan{Refuse: begun, From: begun.Add(longest / 2), Until: begun.Add(longest + 200*ms), End: begun.Add(longest + 400*ms)})
-				if took := time.Since(begun); took > longest+400*ms || server.Open() > 0 {
-					t.Errorf("it took %v, %d connections are left", took, server.Open())
+				server.Drain(downstream.DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(longest / 2), MoveEndAt: begun.Add(longest + 200*ms), EndAt: begun.Add(longest + 400*ms)})
+				if took := time.Since(begun); took > longest+400*ms || server.OpenSessions() > 0 {
+					t.Errorf("it took %v, %d connections are left", took, server.OpenSessions())
 				}
 				_ = door.Close()
 				server.Close()
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -48,7 +48,7 @@
 	}
 	defer s.operators.Unlock()
 	now := time.Now()
-	s.node.server.LameDuck(downstream.Plan{Refuse: now.Add(600 * ms), From: now.Add(300 * ms), Until: now.Add(1500 * ms), End: now.Add(time.Hour)})
+	s.node.server.LameDuck(downstream.DrainPlan{RejectAt: now.Add(600 * ms), MoveStartAt: now.Add(300 * ms), MoveEndAt: now.Add(1500 * ms), EndAt: now.Add(time.Hour)})
 	if s.node.server.AcceptsClients() {
 		s.t.Error("it takes clients while it is emptied")
 	}
@@ -57,7 +57,7 @@
 		s.node.server.Rejoin()
 		s.node.server.Rejoin()
 	} else {
-		s.node.server.LameDuck(downstream.Plan{}) // changes nothing
+		s.node.server.LameDuck(downstream.DrainPlan{}) // changes nothing
 		time.Sleep(2 * time.Second)
 		s.mu.Lock()
 		for id, since := range s.up {
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -48,7 +48,7 @@
 	n.core = core
 	n.hops.SetObserver(core)
 	n.server = downstream.New(core, n.hops, downstream.Limits{Sockets: 1000})
-	n.server.Figures = s.count
+	n.server.Metrics = s.count
 	n.parts.Go(func() { core.Run(ctx) })
 	if s.kind == silent {
 		n.parts.Go(func() { watch.Run(ctx, discovery.Update{}) })
@@ -75,11 +75,11 @@
 	} else {
 		now := time.Now()
 		end := now.Add(1400 * ms)
-		n.server.Drain(downstream.Plan{Refuse: end, From: now, Until: end, End: end, Heir: heir})
+		n.server.Drain(downstream.DrainPlan{RejectAt: end, MoveStartAt: now, MoveEndAt: end, EndAt: end, Successor: heir})
 		if took := time.Since(now); took > 1400*ms {
 			s.t.Errorf("it took %v to leave", took)
 		}
-		if left := n.server.Open(); left > 0 {
+		if left := n.server.OpenSessions(); left > 0 {
 			s.t.Errorf("%d connections were not answered, handed over or moved", left)
 		}
 	}
--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -26,7 +26,7 @@
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Factory) Continuity(o *lineproto.ConnectRequest) proxy.Resumption {
+func (s Factory) Resumption(o *lineproto.ConnectRequest) proxy.Resumption {
 	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
 	if o.ResumeToken != lineproto.ResumeWanted {
 		c.token = o.ResumeToken
