--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -88,8 +88,8 @@
 		served <- agentapi.Serve(ctx, l, a)
 	}()
 	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.ReplicatedLog.IsEnabled(), "zones", f.Zones.Enabled)
-	err = m.Run(ctx, gossip.Gossip{Bind: f.Bind, Advertise: f.Advertise, Peers: f.Peers, Key: f.Key,
-		Open: mutation.Enabled("open"), Interval: f.Interval.Duration, Log: toLog{}})
+	err = m.Run(ctx, gossip.Config{BindAddress: f.Bind, AdvertiseAddress: f.Advertise, Peers: f.Peers, KeyFile: f.Key,
+		Unencrypted: mutation.Enabled("open"), Interval: f.Interval.Duration, LogOutput: toLog{}})
 	cancel()
 	if e := <-served; err == nil {
 		err = e
--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -18,13 +18,13 @@
 )
 
 // newMember is this agent's part in gossip.
-func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Agent {
+func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Member {
 	cfg := quota.Config{Epoch: f.Epoch.Duration, LeaseTimeout: f.Hold.Duration, ReportTTL: f.Fresh.Duration, RetryRatio: f.Retries, MaxOutlierFraction: f.Shun}
 	guards := quota.Guards{RankedAllocation: mutation.Enabled("ranks"), LeaseExpiry: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), RetryBudget: mutation.Enabled("budget")}
-	m := gossip.NewAgent(f.Name, cfg, guards, clock)
+	m := gossip.NewMember(f.Name, cfg, guards, clock)
 	m.Zone = f.Zone
 	if f.ReplicatedLog.IsEnabled() {
-		m.Record = f.ReplicatedLog.AdvertisedAddr()
+		m.ReplogAddress = f.ReplicatedLog.AdvertisedAddr()
 	}
 	return m
 }
@@ -50,8 +50,8 @@
 	}
 	peers := func() (all []replog.Peer) {
 		for _, m := range o.Gossip.Members() {
-			if m.Name != f.Name && m.Record != "" && m.Status == quota.Alive {
-				all = append(all, replog.Peer{Name: m.Name, Addr: m.Record, Index: m.Index})
+			if m.Name != f.Name && m.ReplogAddress != "" && m.Status == quota.Alive {
+				all = append(all, replog.Peer{Name: m.Name, Addr: m.ReplogAddress, Index: m.LogIndex})
 			}
 		}
 		return all
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -80,7 +80,7 @@
 		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, ConfirmedAt: time.Now()}) }
 		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Log: log, Clock: clock, Accounts: &deal,
-			Gossip: gossip.NewAgent("n1", quota.Config{Epoch: deal.Epoch, LeaseTimeout: deal.HolderTimeout, ReportTTL: time.Second}, quota.Guards{}, clock)})
+			Gossip: gossip.NewMember("n1", quota.Config{Epoch: deal.Epoch, LeaseTimeout: deal.HolderTimeout, ReportTTL: time.Second}, quota.Guards{}, clock)})
 		go a.Run(ctx)
 
 		hops := &sound{}
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -74,7 +74,7 @@
 			time.Sleep(150 * time.Millisecond)
 			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
 				for i := range 5 {
-					w.agent.Gossip.Hear(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
+					w.agent.Gossip.Receive(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
 				}
 			}
 			gathered.FillProgress(&said)
@@ -134,18 +134,18 @@
 func TestCutWords(t *testing.T) {
 	free := account.Limits{Connections: 5, SetupRate: -1, RetryRate: -1, ProbeRate: -1}
 	s := &logentry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
-	word := func(half int64, rest float64) gossip.Use {
-		return gossip.Use{Usage: account.Usage{Member: "n", HalfEpoch: half, UsedBefore: map[string]account.Amounts{"x": {Setups: 9}}}, Rest: account.Amounts{Setups: rest}}
+	word := func(half int64, rest float64) gossip.Usage {
+		return gossip.Usage{Usage: account.Usage{Member: "n", HalfEpoch: half, UsedBefore: map[string]account.Amounts{"x": {Setups: 9}}}, OmittedMax: account.Amounts{Setups: rest}}
 	}
 	for _, tt := range []struct {
-		use  gossip.Use
+		use  gossip.Usage
 		want map[string]account.Amounts
 	}{
 		{word(7, 2), map[string]account.Amounts{"x": {Setups: 9}, "z": {Setups: 2}}},
 		{word(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
 		{word(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
 	} {
-		if got := whole([]gossip.Use{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+		if got := whole([]gossip.Usage{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
 		}
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -31,7 +31,7 @@
 // Options say what an agent is made of.
 type Options struct {
 	Name, Zone     string
-	Gossip         *gossip.Agent
+	Gossip         *gossip.Member
 	Log            ReplicatedLog      // nil for none
 	NoLogReason    string             // there is none: off, or what is wrong
 	Zones          *zonestatus.Config // nil where zones are not left
@@ -57,7 +57,7 @@
 	dealing dealing
 
 	mu    sync.Mutex
-	given gossip.Decided
+	given gossip.Decision
 }
 
 // New returns an agent that Run has to keep.
@@ -108,20 +108,20 @@
 	if a.Log != nil {
 		v = a.Log.View()
 	}
-	var d gossip.Decided
+	var d gossip.Decision
 	var state zonestatus.State
 	if v.State != nil {
-		d.Index, state = v.State.Index, v.State.Zones
+		d.LogIndex, state = v.State.Index, v.State.Zones
 	}
 	heard := a.hears(now, v) && !a.AlwaysIsolated
 	switch {
 	case a.Zones == nil:
 	case heard:
-		d.Bounds, d.Over = state.TrafficLimits(a.Zone), state.Shed
+		d.ZoneBounds, d.ShedShare = state.TrafficLimits(a.Zone), state.Shed
 	default:
-		d.Bounds, d.Over = a.alone.Evaluate(now, state, a.Gossip.Own()), state.Shed
+		d.ZoneBounds, d.ShedShare = a.alone.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
 	}
-	a.Gossip.Decide(d)
+	a.Gossip.SetDecision(d)
 	a.mu.Lock()
 	a.given = d
 	a.mu.Unlock()
@@ -157,7 +157,7 @@
 
 // Answer takes what the node has said. The node's clock is the machine's.
 func (a *Agent) HandleReport(s agentapi.Report) agentapi.Response {
-	g := a.Gossip.Answer(s.QuotaUsage)
+	g := a.Gossip.ReportSpending(s.QuotaUsage)
 	g.TokensExpireAt -= a.ClockOffset
 	told := agentapi.Response{QuotaLease: g}
 	if a.Accounts != nil && a.Log != nil {
--- a/internal/fleet/agent/lead.go
+++ b/internal/fleet/agent/lead.go
@@ -24,7 +24,7 @@
 			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
 	}
-	change, why, ok := a.watch.Evaluate(now, state, a.Gossip.Words(), members)
+	change, why, ok := a.watch.Evaluate(now, state, a.Gossip.ZoneReports(), members)
 	if !ok {
 		return
 	}
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -106,13 +106,13 @@
 		}
 	}
 	a.mu.Lock()
-	s.RejectedShare = a.given.Over
-	for _, b := range a.given.Bounds {
+	s.RejectedShare = a.given.ShedShare
+	for _, b := range a.given.ZoneBounds {
 		s.ZoneLimits = append(s.ZoneLimits, agentapi.ZoneLimit(b))
 	}
 	a.mu.Unlock()
 	for _, m := range a.Gossip.Members() {
-		s.Members = append(s.Members, agentapi.Member{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), LogAddr: m.Record, Index: m.Index, ReportedAtMillis: m.At})
+		s.Members = append(s.Members, agentapi.Member{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), LogAddr: m.ReplogAddress, Index: m.LogIndex, ReportedAtMillis: m.ReportedAtMs})
 	}
 	return s
 }
--- a/internal/fleet/agent/promises.go
+++ b/internal/fleet/agent/promises.go
@@ -56,7 +56,7 @@
 }
 
 func newKeeping(o Options) *keeping {
-	k := &keeping{SLOOptions: *o.SLO, name: o.Name, zone: o.Zone, tell: o.Gossip.Tell, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
+	k := &keeping{SLOOptions: *o.SLO, name: o.Name, zone: o.Zone, tell: o.Gossip.Send, out: map[string]chan []byte{}, busy: make(chan struct{}, 1), version: 1<<64 - 1}
 	for _, v := range k.Voters {
 		if v == k.name {
 			k.fleet, k.steer = slo.NewAggregator(k.Config), slo.NewController(k.Config)
@@ -65,7 +65,7 @@
 		}
 		k.out[v] = make(chan []byte, waiting)
 	}
-	o.Gossip.Told = func(raw []byte) { k.hear(o.Clock(), raw) }
+	o.Gossip.OnMessage = func(raw []byte) { k.hear(o.Clock(), raw) }
 	return k
 }
 
--- a/internal/fleet/agent/promises_lead.go
+++ b/internal/fleet/agent/promises_lead.go
@@ -22,7 +22,7 @@
 		return
 	}
 	s, members := v.State.Contracts, a.present()
-	regions := k.regions(v.State.Zones, a.Gossip.Words(), members)
+	regions := k.regions(v.State.Zones, a.Gossip.ZoneReports(), members)
 	k.turn(now, s, regions, members)
 	if !leads {
 		k.steer.Observe(s, k.seen)
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -47,7 +47,7 @@
 	now   time.Duration
 	view  replog.View
 	own   account.Usage
-	uses  []gossip.Use
+	uses  []gossip.Usage
 	among account.QuotaLease
 	done  chan struct{}
 }
@@ -78,12 +78,12 @@
 		d.own = *s.Usage
 		d.own.Member, d.own.ReportedAt = a.Name, now
 		if d.own.IsValid() {
-			a.Gossip.Used(d.own)
+			a.Gossip.PublishUsage(d.own)
 		} else {
 			d.own = account.Usage{Member: a.Name, ReportedAt: now}
 		}
 	}
-	uses := a.Gossip.Uses()
+	uses := a.Gossip.Usages()
 	half, heard := int64(now/(d.cfg.Epoch/2)), 0
 	for _, u := range uses {
 		if u.HalfEpoch == half {
@@ -129,7 +129,7 @@
 	if a.lost(j.now, j.view, d.cfg.HolderTimeout) {
 		r = account.AllocateEvenShare(j.now, d.cfg, tree, j.own, j.among)
 	} else {
-		r = account.Allocate(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Gossip.Holders(), a.Name)
+		r = account.Allocate(j.now, d.cfg, tree, whole(j.uses, j.view.State, int64(j.now/(d.cfg.Epoch/2))), a.Gossip.LeaseHolders(), a.Name)
 	}
 	for _, m := range []map[string]account.Amounts{r.Allocated, r.EvenShares} { // no bound is what the node takes silence for
 		maps.DeleteFunc(m, func(_ string, f account.Amounts) bool {
@@ -174,17 +174,17 @@
 	if d.last.HolderCount > 0 {
 		return d.last
 	}
-	holders := a.Gossip.Holders()
+	holders := a.Gossip.LeaseHolders()
 	return account.QuotaLease{HolderRank: max(slices.Index(holders, a.Name), 0), HolderCount: max(d.cfg.FleetSize, len(holders), 1)}
 }
 
 // whole returns words as the deal takes them. What a word that was cut does not name counts
 // as used as much as it says of the rest.
-func whole(uses []gossip.Use, s *logentry.State, half int64) (all []account.Usage) {
+func whole(uses []gossip.Usage, s *logentry.State, half int64) (all []account.Usage) {
 	var bound []string
 	filled := 0
 	for _, u := range uses {
-		if u.HalfEpoch == half && u.Rest != (account.Amounts{}) {
+		if u.HalfEpoch == half && u.OmittedMax != (account.Amounts{}) {
 			if bound == nil {
 				bound = limited(s.Accounts)
 			}
@@ -194,7 +194,7 @@
 			prior := maps.Clone(u.UsedBefore)
 			for _, path := range bound {
 				if _, ok := prior[path]; !ok {
-					prior[path] = u.Rest
+					prior[path] = u.OmittedMax
 				}
 			}
 			u.UsedBefore = prior
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -99,10 +99,10 @@
 	cfg := zonestatus.DefaultConfig()
 	w := &world{ledger: newLedger(t, logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: cfg}), failed: map[string]float64{}, began: time.Now()}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	m := gossip.NewAgent("n1", quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}, quota.Guards{}, clock)
+	m := gossip.NewMember("n1", quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}, quota.Guards{}, clock)
 	m.Zone = "a"
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
-		m.Saw(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
+		m.SetMemberStatus(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
 	w.agent = New(Options{Name: "n1", Zone: "a", Gossip: m, Log: w.ledger, Zones: &cfg, LogLease: 2 * time.Second, Clock: clock,
 		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6}})
@@ -128,7 +128,7 @@
 			}
 			sights += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failed[to])
 		}
-		w.agent.Gossip.Hear(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
+		w.agent.Gossip.Receive(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
 			i+2, seq, time.Now().UnixNano(), z, sights[1:]))
 	}
 }
--- a/internal/fleet/gossip/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -23,10 +23,10 @@
 
 // Agent is one member. Its methods may be called at any time; Zone and Record are set
 // before.
-type Agent struct {
-	Zone   string               // where it stands; empty for nowhere
-	Record string               // where the others reach its record; empty where it serves none
-	Told   func(message []byte) // what others Tell this member; nil for nobody
+type Member struct {
+	Zone          string               // where it stands; empty for nowhere
+	ReplogAddress string               // where the others reach its record; empty where it serves none
+	OnMessage     func(message []byte) // what others Tell this member; nil for nobody
 
 	name  string
 	boot  int64
@@ -37,9 +37,9 @@
 	state  *quota.State
 	places map[string]place  // of others
 	words  map[string]word   // the last of each member
-	uses   map[string]Use    // and of what it uses of accounts,
+	uses   map[string]Usage  // and of what it uses of accounts,
 	raw    map[string][]byte // as it travels
-	given  Decided
+	given  Decision
 	seq    uint64
 	half   int64                  // of the node's last word
 	spent  map[quota.Endpoint]int // in that half
@@ -51,24 +51,24 @@
 }
 
 // Decided is what the record, or this member by itself, has decided for its node.
-type Decided struct {
-	Index  uint64                    // of the record as this member serves it
-	Bounds []zonestatus.TrafficLimit // zones that are not named are not bounded
-	Over   float64                   // share of first arrivals that is refused at once
+type Decision struct {
+	LogIndex   uint64                    // of the record as this member serves it
+	ZoneBounds []zonestatus.TrafficLimit // zones that are not named are not bounded
+	ShedShare  float64                   // share of first arrivals that is refused at once
 }
 
 // NewAgent returns a member by that name that knows nobody.
-func NewAgent(name string, cfg quota.Config, ignore quota.Guards, clock func() time.Duration) *Agent {
-	a := &Agent{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.NewState(name, cfg),
+func NewMember(name string, cfg quota.Config, ignore quota.Guards, clock func() time.Duration) *Member {
+	a := &Member{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.NewState(name, cfg),
 		places: map[string]place{}, words: map[string]word{},
-		uses: map[string]Use{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
+		uses: map[string]Usage{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
 		spent: map[quota.Endpoint]int{}, prior: map[quota.Endpoint]int{}, spread: func(string, []byte) {}}
 	a.state.DisabledGuards = ignore
 	return a
 }
 
 // Decide takes what the node is told from now on.
-func (a *Agent) Decide(d Decided) {
+func (a *Member) SetDecision(d Decision) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.given = d
@@ -76,16 +76,16 @@
 }
 
 // Answer takes what the node has spent and returns what it may spend now.
-func (a *Agent) Answer(sp balance.QuotaUsage) balance.QuotaLease {
+func (a *Member) ReportSpending(sp balance.QuotaUsage) balance.QuotaLease {
 	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.own(now, sp)
 	a.forget(now)
 	half, _, end := a.cfg.Period(now)
-	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.RetryBudget(now), ShedFraction: a.given.Over}
+	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.RetryBudget(now), ShedFraction: a.given.ShedShare}
 	old := a.half == half && sp.Period < half // a new process of the node: the old one had this half's tokens
-	for _, b := range a.given.Bounds {
+	for _, b := range a.given.ZoneBounds {
 		g.Zones = append(g.Zones, a.zoneGrant(now, b, old))
 	}
 	if old {
@@ -100,7 +100,7 @@
 	return g
 }
 
-func (a *Agent) zoneGrant(now time.Duration, b zonestatus.TrafficLimit, spent bool) balance.ZoneQuota {
+func (a *Member) zoneGrant(now time.Duration, b zonestatus.TrafficLimit, spent bool) balance.ZoneQuota {
 	g := balance.ZoneQuota{Zone: b.Zone, Share: b.Share, Tokens: -1}
 	if b.Rate > 0 {
 		if g.Tokens = 0; !spent {
@@ -111,7 +111,7 @@
 }
 
 // own makes this member's report of what its node says, and spreads it.
-func (a *Agent) own(now time.Duration, sp balance.QuotaUsage) {
+func (a *Member) own(now time.Duration, sp balance.QuotaUsage) {
 	if sp.Period > a.half {
 		if a.prior = a.spent; sp.Period > a.half+1 {
 			a.prior = map[quota.Endpoint]int{}
@@ -120,7 +120,7 @@
 	}
 	a.seq++
 	w := word{Report: quota.Report{Member: a.name, Incarnation: a.boot, Seq: a.seq, ReportedAt: now, Period: a.half, FirstAttempts: sp.FirstAttempts, Retries: sp.Retries},
-		Zone: a.Zone, Index: a.given.Index, Sights: sights(sp.Servers)}
+		Zone: a.Zone, Index: a.given.LogIndex, Sights: sights(sp.Servers)}
 	for _, x := range sp.Servers {
 		s := quota.Endpoint{ID: x.ID, StartedAt: x.StartedAt.Milliseconds()}
 		if sp.Period == a.half && x.Used > 0 {
@@ -148,7 +148,7 @@
 }
 
 // keep takes a report if it is news, and tells whether it was.
-func (a *Agent) keep(w word) bool {
+func (a *Member) keep(w word) bool {
 	if !w.sound() || !a.state.Merge(w.Report) {
 		return false
 	}
@@ -158,7 +158,7 @@
 
 // Hear takes a report as it came, and spreads it further if it is news. Gossip brings each
 // several times: it is read once.
-func (a *Agent) Hear(raw []byte) {
+func (a *Member) Receive(raw []byte) {
 	mark := maphash.Bytes(a.seed, raw)
 	place := &a.heard[mark%uint64(len(a.heard))]
 	a.mu.Lock()
--- a/internal/fleet/gossip/delegate.go
+++ b/internal/fleet/gossip/delegate.go
@@ -24,7 +24,7 @@
 
 // delegate is what memberlist calls.
 type delegate struct {
-	agent *Agent
+	agent *Member
 	meta  []byte
 	there atomic.Int64 // members that are alive
 	queue memberlist.TransmitLimitedQueue
@@ -33,7 +33,7 @@
 func (d *delegate) NodeMeta(int) []byte { return d.meta }
 func (d *delegate) NotifyMsg(raw []byte) {
 	if !d.agent.told(raw) {
-		d.agent.Hear(raw)
+		d.agent.Receive(raw)
 	}
 }
 
@@ -45,14 +45,16 @@
 
 func (d *delegate) NotifyJoin(n *memberlist.Node) {
 	d.there.Add(1)
-	d.agent.Saw(n.Name, quota.Alive, n.Meta)
+	d.agent.SetMemberStatus(n.Name, quota.Alive, n.Meta)
+}
+func (d *delegate) NotifyUpdate(n *memberlist.Node) {
+	d.agent.SetMemberStatus(n.Name, quota.Alive, n.Meta)
 }
-func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.agent.Saw(n.Name, quota.Alive, n.Meta) }
 func (d *delegate) NotifyLeave(n *memberlist.Node) {
 	d.there.Add(-1)
 	if n.State == memberlist.StateLeft {
-		d.agent.Saw(n.Name, quota.Left, n.Meta)
+		d.agent.SetMemberStatus(n.Name, quota.Left, n.Meta)
 		return
 	}
-	d.agent.Saw(n.Name, quota.Failed, n.Meta)
+	d.agent.SetMemberStatus(n.Name, quota.Failed, n.Meta)
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -18,14 +18,14 @@
 )
 
 // Gossip says how a member meets the others.
-type Gossip struct {
-	Bind      string   // HOST:PORT, for TCP and UDP
-	Advertise string   // where the others reach it, if that is elsewhere
-	Peers     []string // some other members' advertised addresses
-	Key       string   // file with 32, 48 or 64 hexadecimal digits; all members have the same
-	Open      bool     // without a key: for a mutation only
-	Interval  time.Duration
-	Log       io.Writer
+type Config struct {
+	BindAddress      string   // HOST:PORT, for TCP and UDP
+	AdvertiseAddress string   // where the others reach it, if that is elsewhere
+	Peers            []string // some other members' advertised addresses
+	KeyFile          string   // file with 32, 48 or 64 hexadecimal digits; all members have the same
+	Unencrypted      bool     // without a key: for a mutation only
+	Interval         time.Duration
+	LogOutput        io.Writer
 }
 
 // rejoin is how often members that can't be reached are looked for again.
@@ -48,12 +48,12 @@
 }
 
 // Run is a member until ctx ends, and then says that it leaves.
-func (a *Agent) Run(ctx context.Context, g Gossip) error {
-	bind, err := netip.ParseAddrPort(g.Bind)
+func (a *Member) Run(ctx context.Context, g Config) error {
+	bind, err := netip.ParseAddrPort(g.BindAddress)
 	if err != nil {
 		return fmt.Errorf("fleet.bind: %w", err)
 	}
-	logger := log.New(g.Log, "", 0)
+	logger := log.New(g.LogOutput, "", 0)
 	tr, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{bind.Addr().String()},
 		BindPort: int(bind.Port()), Logger: logger})
 	if err != nil {
@@ -63,15 +63,15 @@
 	c.Name, c.Transport, c.Logger = a.name, &transport{tr, net.IP(bind.Addr().AsSlice())}, logger
 	c.BindAddr, c.BindPort = bind.Addr().String(), int(bind.Port())
 	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
-	if g.Advertise != "" {
-		to, err := netip.ParseAddrPort(g.Advertise)
+	if g.AdvertiseAddress != "" {
+		to, err := netip.ParseAddrPort(g.AdvertiseAddress)
 		if err != nil {
 			return fmt.Errorf("fleet.advertise: %w", err)
 		}
 		c.AdvertiseAddr, c.AdvertisePort = to.Addr().String(), int(to.Port())
 	}
-	if !g.Open {
-		if c.SecretKey, err = ReadKey(g.Key); err != nil {
+	if !g.Unencrypted {
+		if c.SecretKey, err = ReadKey(g.KeyFile); err != nil {
 			return fmt.Errorf("fleet.key: %w", err)
 		}
 	}
@@ -83,7 +83,7 @@
 	c.PushPullInterval = 10 * time.Second
 	c.DeadNodeReclaimTime = time.Second // a member may come back at another address
 	d := &delegate{agent: a}
-	if d.meta, err = json.Marshal(place{a.Zone, a.Record}); err != nil {
+	if d.meta, err = json.Marshal(place{a.Zone, a.ReplogAddress}); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
 	d.queue.RetransmitMult = c.RetransmitMult
@@ -115,7 +115,7 @@
 }
 
 // join looks for those of the peers that are not there.
-func (a *Agent) join(list *memberlist.Memberlist, peers []string) {
+func (a *Member) join(list *memberlist.Memberlist, peers []string) {
 	there := []string{list.LocalNode().Address()}
 	for _, n := range list.Members() {
 		there = append(there, n.Address())
--- a/internal/fleet/gossip/member_test.go
+++ b/internal/fleet/gossip/member_test.go
@@ -40,18 +40,18 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 8)
 	var peers []string
-	agents := map[string]*Agent{}
+	agents := map[string]*Member{}
 	for i, name := range []string{"a", "b", "c", "stranger"} {
 		at := free(t)
 		peers = append(peers, at)
-		a := NewAgent(name, cfg, quota.Guards{}, clock)
+		a := NewMember(name, cfg, quota.Guards{}, clock)
 		agents[name] = a
-		g := Gossip{Bind: at, Peers: slices.Clone(peers), Key: key, Open: name == "stranger", Interval: 20 * time.Millisecond, Log: io.Discard}
+		g := Config{BindAddress: at, Peers: slices.Clone(peers), KeyFile: key, Unencrypted: name == "stranger", Interval: 20 * time.Millisecond, LogOutput: io.Discard}
 		go func() { ended <- a.Run(ctx, g) }()
 		for range 2 { // two askers each
 			go func() {
 				for ctx.Err() == nil {
-					a.Answer(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: fmt.Sprint("bad-", name == "stranger"), RecentAttempts: 5, RecentFailures: 5},
+					a.ReportSpending(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: fmt.Sprint("bad-", name == "stranger"), RecentAttempts: 5, RecentFailures: 5},
 						{ID: "cold", WarmingUp: true, ColdBudget: float64(i + 1), RecentAttempts: 1}}})
 				}
 			}()
@@ -59,7 +59,7 @@
 	}
 	for _, name := range []string{"a", "b", "c"} {
 		for begun := time.Now(); ; {
-			g := agents[name].Answer(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: "bad-false", RecentAttempts: 5, RecentFailures: 5}}})
+			g := agents[name].ReportSpending(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: "bad-false", RecentAttempts: 5, RecentFailures: 5}}})
 			if g.RetryBudget > 1.5 && slices.Equal(g.EjectedServers, []string{"bad-false"}) {
 				break // its own tenth of 10, and a third of what the two others have left
 			}
--- a/internal/fleet/gossip/roster.go
+++ b/internal/fleet/gossip/roster.go
@@ -23,17 +23,17 @@
 func (p place) sound() bool { return len(p.Zone) <= longestZone && len(p.Record) <= 64 }
 
 // Standing is what is known of a member.
-type Standing struct {
-	Name   string       `json:"name"`
-	Zone   string       `json:"zone,omitempty"`
-	Status quota.Status `json:"-"`
-	Record string       `json:"record,omitempty"` // where it serves the record
-	Index  uint64       `json:"index,omitempty"`  // as it last said
-	At     int64        `json:"at,omitempty"`     // Unix ms of its last word, by its clock
+type MemberInfo struct {
+	Name          string       `json:"name"`
+	Zone          string       `json:"zone,omitempty"`
+	Status        quota.Status `json:"-"`
+	ReplogAddress string       `json:"record,omitempty"` // where it serves the record
+	LogIndex      uint64       `json:"index,omitempty"`  // as it last said
+	ReportedAtMs  int64        `json:"at,omitempty"`     // Unix ms of its last word, by its clock
 }
 
 // Saw takes news of membership.
-func (a *Agent) Saw(name string, status quota.Status, meta []byte) {
+func (a *Member) SetMemberStatus(name string, status quota.Status, meta []byte) {
 	var p place
 	if err := json.Unmarshal(meta, &p); len(meta) > 0 && err != nil || !p.sound() {
 		slog.Warn("fleet: a member's place can't be read", "name", name, "err", err)
@@ -49,35 +49,35 @@
 }
 
 // forget drops what is known of members that share forgets.
-func (a *Agent) forget(now time.Duration) {
+func (a *Member) forget(now time.Duration) {
 	a.state.RemoveExpired(now)
 	known := a.state.Members()
 	gone := func(name string) bool { _, ok := known[name]; return !ok }
 	maps.DeleteFunc(a.places, func(name string, _ place) bool { return gone(name) })
 	maps.DeleteFunc(a.words, func(name string, _ word) bool { return gone(name) })
-	maps.DeleteFunc(a.uses, func(name string, _ Use) bool { return gone(name) })
+	maps.DeleteFunc(a.uses, func(name string, _ Usage) bool { return gone(name) })
 	maps.DeleteFunc(a.raw, func(name string, _ []byte) bool { return gone(name) })
 }
 
 // Members returns all members, this one too, by name.
-func (a *Agent) Members() (all []Standing) {
+func (a *Member) Members() (all []MemberInfo) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, status := range a.state.Members() {
-		m, w := Standing{Name: name, Status: status}, a.words[name]
+		m, w := MemberInfo{Name: name, Status: status}, a.words[name]
 		p := a.places[name]
 		if name == a.name {
-			p = place{a.Zone, a.Record}
+			p = place{a.Zone, a.ReplogAddress}
 		}
-		m.Zone, m.Record, m.Index, m.At = p.Zone, p.Record, w.Index, w.ReportedAt.Milliseconds()
+		m.Zone, m.ReplogAddress, m.LogIndex, m.ReportedAtMs = p.Zone, p.Record, w.Index, w.ReportedAt.Milliseconds()
 		all = append(all, m)
 	}
-	slices.SortFunc(all, func(x, y Standing) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(all, func(x, y MemberInfo) int { return cmp.Compare(x.Name, y.Name) })
 	return all
 }
 
 // Words returns what each member saw last of the zones, by name.
-func (a *Agent) Words() (all []zonestatus.Report) {
+func (a *Member) ZoneReports() (all []zonestatus.Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(a.words)) {
@@ -89,7 +89,7 @@
 }
 
 // Own returns what this member's node saw last.
-func (a *Agent) Own() zonestatus.Report {
+func (a *Member) OwnZoneReport() zonestatus.Report {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.words[a.name]
@@ -107,7 +107,7 @@
 }
 
 // all are the reports of all members, for one that has been cut off.
-func (a *Agent) all() []byte {
+func (a *Member) all() []byte {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var reports []json.RawMessage
@@ -126,13 +126,13 @@
 	return raw
 }
 
-func (a *Agent) hearAll(raw []byte) {
+func (a *Member) hearAll(raw []byte) {
 	var reports []json.RawMessage
 	if err := json.Unmarshal(raw, &reports); err != nil {
 		slog.Warn("fleet: a state that can't be read", "err", err)
 		return
 	}
 	for _, r := range reports {
-		a.Hear(r)
+		a.Receive(r)
 	}
 }
--- a/internal/fleet/gossip/samples.go
+++ b/internal/fleet/gossip/samples.go
@@ -16,7 +16,7 @@
 
 // Tell sends a message to one member, over a connection of its own, encrypted as all that
 // members say. It may take some seconds where that member can't be reached.
-func (a *Agent) Tell(name string, message []byte) error {
+func (a *Member) Send(name string, message []byte) error {
 	a.mu.Lock()
 	list := a.list
 	a.mu.Unlock()
@@ -39,12 +39,12 @@
 
 // told hands on a message that another member has sent with Tell, and tells whether it is
 // one. Told must not keep it, and returns at once.
-func (a *Agent) told(raw []byte) bool {
+func (a *Member) told(raw []byte) bool {
 	if len(raw) == 0 || raw[0] != kindSample {
 		return false
 	}
-	if a.Told != nil && len(raw) <= largestSample+1 {
-		a.Told(raw[1:])
+	if a.OnMessage != nil && len(raw) <= largestSample+1 {
+		a.OnMessage(raw[1:])
 	}
 	return true
 }
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -34,32 +34,32 @@
 }
 
 // storedUsed is the datagram on accounts and, as a member takes it, the use in it.
-func storedUsed() (used, Use) {
+func storedUsed() (used, Usage) {
 	datagram := used{Member: "node-b", Half: 201, Paths: map[string]made{"acme": {202, 203, 204}, "acme/web:r": {205, 206, 207}}, Rest: made{208, 209, 210}}
-	return datagram, Use{
+	return datagram, Usage{
 		Usage: account.Usage{Member: "node-b", ReportedAt: storedNow, HalfEpoch: 201, UsedBefore: map[string]account.Amounts{
 			"acme": {Setups: 202, Retries: 203, Probes: 204}, "acme/web:r": {Setups: 205, Retries: 206, Probes: 207}}},
-		Rest: account.Amounts{Setups: 208, Retries: 209, Probes: 210},
+		OmittedMax: account.Amounts{Setups: 208, Retries: 209, Probes: 210},
 	}
 }
 
 // storedMember has met node-b by its stored meta data.
-func storedMember(t *testing.T) *Agent {
-	a := NewAgent("node-a", cfg, quota.Guards{}, func() time.Duration { return storedNow })
+func storedMember(t *testing.T) *Member {
+	a := NewMember("node-a", cfg, quota.Guards{}, func() time.Duration { return storedNow })
 	want := place{Zone: "zone-b", Record: "127.0.0.1:1"}
 	storedtest.AssertDistinctFields(t, want)
 	raw, err := json.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.Saw("node-b", quota.Alive, storedtest.AssertFile(t, "meta.json", raw))
+	a.SetMemberStatus("node-b", quota.Alive, storedtest.AssertFile(t, "meta.json", raw))
 	if got := a.places["node-b"]; got != want {
 		t.Errorf("meta data is read as %+v, want %+v", got, want)
 	}
 	return a
 }
 
-func wantStored(t *testing.T, a *Agent) {
+func wantStored(t *testing.T, a *Member) {
 	t.Helper()
 	_, use := storedUsed()
 	if got, want := a.words["node-b"], storedReport(); !reflect.DeepEqual(got, want) {
@@ -77,8 +77,8 @@
 	datagram, _ := storedUsed()
 	storedtest.AssertDistinctFields(t, storedReport())
 	storedtest.AssertDistinctFields(t, datagram)
-	a.Hear(storedtest.AssertFile(t, "report.json", storedReport().pack()))
-	a.Hear(storedtest.AssertFile(t, "used.json", datagram.pack()))
+	a.Receive(storedtest.AssertFile(t, "report.json", storedReport().pack()))
+	a.Receive(storedtest.AssertFile(t, "used.json", datagram.pack()))
 	wantStored(t, a)
 	cutOff.hearAll(storedtest.AssertFile(t, "state.json", a.all()))
 	wantStored(t, cutOff)
@@ -87,7 +87,7 @@
 func TestStoredSampleIsHandedOn(t *testing.T) {
 	a := storedMember(t)
 	var got []byte
-	a.Told = func(message []byte) { got = bytes.Clone(message) }
+	a.OnMessage = func(message []byte) { got = bytes.Clone(message) }
 	(&delegate{agent: a}).NotifyMsg([]byte(`s{"member":"node-b"}`))
 	if want := `{"member":"node-b"}`; string(got) != want {
 		t.Errorf("handed on %q, want %q", got, want)
--- a/internal/fleet/gossip/uses.go
+++ b/internal/fleet/gossip/uses.go
@@ -34,9 +34,9 @@
 
 // Use is a member's word on what it uses. Where it was too long for a datagram, no path that
 // it does not name was used more than Rest in the half before.
-type Use struct {
+type Usage struct {
 	account.Usage
-	Rest account.Amounts
+	OmittedMax account.Amounts
 }
 
 // pack writes it, with as many paths as fit a datagram.
@@ -66,12 +66,12 @@
 }
 
 // Used takes what this member's node uses, and spreads what others are to know of it.
-func (a *Agent) Used(u account.Usage) {
+func (a *Member) PublishUsage(u account.Usage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	u.Member = a.name
 	was, known := a.uses[a.name]
-	a.uses[a.name] = Use{Usage: u}
+	a.uses[a.name] = Usage{Usage: u}
 	if u.HalfEpoch%2 == 0 || known && was.HalfEpoch == u.HalfEpoch && len(a.raw[a.name]) > 0 {
 		return
 	}
@@ -88,16 +88,16 @@
 }
 
 // hearUsed takes another member's word, under the lock, and tells whether it was news.
-func (a *Agent) hearUsed(raw []byte) (name string, news bool, err error) {
+func (a *Member) hearUsed(raw []byte) (name string, news bool, err error) {
 	var w used
 	if err := json.Unmarshal(raw, &w); err != nil {
 		return "", false, err
 	}
-	u := Use{Usage: account.Usage{Member: w.Member, ReportedAt: a.clock(), HalfEpoch: w.Half, UsedBefore: make(map[string]account.Amounts, len(w.Paths))}, Rest: w.Rest.figures()}
+	u := Usage{Usage: account.Usage{Member: w.Member, ReportedAt: a.clock(), HalfEpoch: w.Half, UsedBefore: make(map[string]account.Amounts, len(w.Paths))}, OmittedMax: w.Rest.figures()}
 	for path, m := range w.Paths {
 		u.UsedBefore[path] = m.figures()
 	}
-	rest := account.Usage{Member: w.Member, UsedBefore: map[string]account.Amounts{"": u.Rest}}
+	rest := account.Usage{Member: w.Member, UsedBefore: map[string]account.Amounts{"": u.OmittedMax}}
 	_, there := a.state.Members()[w.Member]
 	if old, ok := a.uses[w.Member]; !there || w.Member == a.name || ok && old.HalfEpoch >= u.HalfEpoch || !u.IsValid() || !rest.IsValid() {
 		return "", false, nil
@@ -109,7 +109,7 @@
 func isUsed(raw []byte) bool { return bytes.HasPrefix(raw, []byte(usedBegins)) }
 
 // Uses returns each member's last word on what it uses, by name.
-func (a *Agent) Uses() (all []Use) {
+func (a *Member) Usages() (all []Usage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(a.uses)) {
@@ -119,7 +119,7 @@
 }
 
 // Holders are the members among whom limits are dealt, by name.
-func (a *Agent) Holders() []string {
+func (a *Member) LeaseHolders() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.forget(a.clock())
--- a/internal/fleet/gossip/uses_test.go
+++ b/internal/fleet/gossip/uses_test.go
@@ -15,7 +15,7 @@
 func TestUsesTravel(t *testing.T) {
 	for _, paths := range []int{0, 5, 500} {
 		var sent [][]byte
-		a, b := NewAgent("a", cfg, quota.Guards{}, clock), NewAgent("b", cfg, quota.Guards{}, clock)
+		a, b := NewMember("a", cfg, quota.Guards{}, clock), NewMember("b", cfg, quota.Guards{}, clock)
 		a.spread = func(name string, raw []byte) {
 			if strings.HasPrefix(name, "used/") {
 				sent = append(sent, raw)
@@ -25,37 +25,37 @@
 		for i := range paths {
 			u.UsedBefore[fmt.Sprint("acme/web:route-", i)] = account.Amounts{Setups: float64(i + 1), Connections: 7}
 		}
-		a.Used(account.Usage{HalfEpoch: 10, UsedBefore: u.UsedBefore})
-		a.Used(u)
-		a.Used(u)
+		a.PublishUsage(account.Usage{HalfEpoch: 10, UsedBefore: u.UsedBefore})
+		a.PublishUsage(u)
+		a.PublishUsage(u)
 		if len(sent) != 1 || len(sent[0]) > largest {
 			t.Fatalf("%d paths: sent %d times", paths, len(sent))
 		}
-		b.Hear(sent[0])
-		if len(b.Uses()) != 0 {
+		b.Receive(sent[0])
+		if len(b.Usages()) != 0 {
 			t.Error("the word of nobody is taken")
 		}
-		b.Saw("a", quota.Alive, nil)
+		b.SetMemberStatus("a", quota.Alive, nil)
 		b.hearAll(a.all()) // as who was cut off
-		b.Hear([]byte(`{"used":"a","half":9,"paths":{"acme":[1,0,0]}}`))
-		b.Hear([]byte(`{"used":"a","half":12,"paths":{"acme":[-1,0,0]}}`))
-		b.Hear([]byte(`{"used":"b","half":12,"paths":{}}`))
-		b.Hear([]byte(`{"used":7}`))
-		got := b.Uses()
+		b.Receive([]byte(`{"used":"a","half":9,"paths":{"acme":[1,0,0]}}`))
+		b.Receive([]byte(`{"used":"a","half":12,"paths":{"acme":[-1,0,0]}}`))
+		b.Receive([]byte(`{"used":"b","half":12,"paths":{}}`))
+		b.Receive([]byte(`{"used":7}`))
+		got := b.Usages()
 		if len(got) != 1 || got[0].Member != "a" || got[0].HalfEpoch != 11 {
 			t.Fatalf("%d paths: %+v", paths, got)
 		}
 		for path, f := range u.UsedBefore {
-			if has, ok := got[0].UsedBefore[path]; ok && has.Setups != f.Setups || !ok && f.Setups > got[0].Rest.Setups {
-				t.Errorf("%d paths: %s: %+v, rest %+v", paths, path, has, got[0].Rest)
+			if has, ok := got[0].UsedBefore[path]; ok && has.Setups != f.Setups || !ok && f.Setups > got[0].OmittedMax.Setups {
+				t.Errorf("%d paths: %s: %+v, rest %+v", paths, path, has, got[0].OmittedMax)
 			}
 		}
-		if (got[0].Rest.Setups > 0) != (paths == 500) {
-			t.Errorf("%d paths: rest %+v", paths, got[0].Rest)
+		if (got[0].OmittedMax.Setups > 0) != (paths == 500) {
+			t.Errorf("%d paths: rest %+v", paths, got[0].OmittedMax)
 		}
-		b.Saw("a", quota.Left, nil)
+		b.SetMemberStatus("a", quota.Left, nil)
 		b.clock = func() time.Duration { return clock() + time.Hour }
-		if b.Holders(); len(b.Uses()) != 0 {
+		if b.LeaseHolders(); len(b.Usages()) != 0 {
 			t.Error("a member that has left is remembered")
 		}
 	}
--- a/internal/fleet/gossip/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -65,15 +65,15 @@
 		`{"member":"stranger","boot":1,"seq":1,"firsts":3,"zone":"a"}`:                                 -1,
 		`{"member":`: -1,
 	} {
-		a := NewAgent("n1", cfg, quota.Guards{}, clock)
-		a.Hear([]byte(raw)) // before it is known who that is
-		a.Saw("n2", quota.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
-		a.Hear([]byte(raw))
-		a.Hear([]byte(raw))
-		if got := len(a.words) - 1; got != min(zones, 0) || len(a.Words()) != max(zones, 0) {
-			t.Errorf("%s: %d words, %v", raw, len(a.words), a.Words())
+		a := NewMember("n1", cfg, quota.Guards{}, clock)
+		a.Receive([]byte(raw)) // before it is known who that is
+		a.SetMemberStatus("n2", quota.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
+		a.Receive([]byte(raw))
+		a.Receive([]byte(raw))
+		if got := len(a.words) - 1; got != min(zones, 0) || len(a.ZoneReports()) != max(zones, 0) {
+			t.Errorf("%s: %d words, %v", raw, len(a.words), a.ZoneReports())
 		}
-		if m := a.Members(); len(m) != 2 || m[1].Zone != "a" || m[1].Record != "127.0.0.1:1" {
+		if m := a.Members(); len(m) != 2 || m[1].Zone != "a" || m[1].ReplogAddress != "127.0.0.1:1" {
 			t.Errorf("%+v", m)
 		}
 	}
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -30,12 +30,12 @@
 		if err != nil {
 			return err
 		}
-		a := gossip.NewAgent(name, quota.Config{Epoch: fleetWindow, LeaseTimeout: fleetHold, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}, quota.Guards{},
+		a := gossip.NewMember(name, quota.Config{Epoch: fleetWindow, LeaseTimeout: fleetHold, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}, quota.Guards{},
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
-			_ = a.Run(ctx, gossip.Gossip{Bind: bind, Advertise: advertise, Peers: s.Peers(), Key: s.Key, Open: open,
-				Interval: 100 * time.Millisecond, Log: io.Discard})
+			_ = a.Run(ctx, gossip.Config{BindAddress: bind, AdvertiseAddress: advertise, Peers: s.Peers(), KeyFile: s.Key, Unencrypted: open,
+				Interval: 100 * time.Millisecond, LogOutput: io.Discard})
 		})
 		wg.Go(func() {
 			for fake.Sleep(ctx, 100*time.Millisecond) {
@@ -43,7 +43,7 @@
 				for _, id := range accused {
 					sp.Servers = append(sp.Servers, balance.ServerUsage{ID: id, RecentAttempts: 50, RecentFailures: 50})
 				}
-				a.Answer(sp)
+				a.ReportSpending(sp)
 			}
 		})
 		return nil
