--- a/internal/hotrestart/giver.go
+++ b/internal/hotrestart/giver.go
@@ -24,8 +24,8 @@
 // Give connects to the taker.
 func Dial(dir, name string) (*Sender, error) {
 	g := &Sender{}
-	return g, socket(dir, name, func(addr *net.UnixAddr) (err error) {
-		if g.conn, err = net.DialUnix("unixpacket", nil, addr); err == nil && !own(g.conn) {
+	return g, withSocketAddr(dir, name, func(addr *net.UnixAddr) (err error) {
+		if g.conn, err = net.DialUnix("unixpacket", nil, addr); err == nil && !isSameUser(g.conn) {
 			g.Close()
 			err = errors.New("the taker is another user's")
 		}
@@ -36,73 +36,73 @@
 // Take hands one connection over, within a time that its wait for others counts in. The
 // transaction closes its copies then. If it is false, the taker has neither read nor
 // written anything, and never will.
-func (g *Sender) Take(s proxy.EstablishedSession, caller, hop net.Conn) bool {
-	text, err := json.Marshal(s)
-	if err != nil || len(text) > largest {
+func (g *Sender) Take(session proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
+	message, err := json.Marshal(session)
+	if err != nil || len(message) > maxMessageBytes {
 		return false
 	}
-	until := time.Now().Add(within)
+	deadline := time.Now().Add(transferTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	offer := func() (err error) {
-		return with(caller, func(a int) error {
-			return with(hop, func(b int) error {
-				_, _, err := g.conn.WriteMsgUnix(text, unix.UnixRights(a, b), nil)
+		return withDescriptor(downstreamConn, func(downstreamFD int) error {
+			return withDescriptor(upstreamConn, func(upstreamFD int) error {
+				_, _, err := g.conn.WriteMsgUnix(message, unix.UnixRights(downstreamFD, upstreamFD), nil)
 				return err
 			})
 		})
 	}
-	return g.ask(until, offer) == prepared && g.commit()
+	return g.roundTrip(deadline, offer) == replyPrepared && g.sendCommit()
 }
 
 // Tell passes on what this process has learned. It is called before connections follow,
 // and takes no longer than one of them may.
-func (g *Sender) SendLearnedState(m balance.LearnedState) {
-	until := time.Now().Add(within)
+func (g *Sender) SendLearnedState(state balance.LearnedState) {
+	deadline := time.Now().Add(transferTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for all := m.Servers; ; {
-		n := min(servers, len(all))
-		m.Servers, all = all[:n], all[n:]
-		text, err := json.Marshal(lesson{&m})
-		if err != nil || len(text) > largest || g.ask(until, func() error { _, err := g.conn.Write(text); return err }) != taken {
-			slog.Warn("handover: what was learned is not passed on", "err", err, "bytes", len(text))
+	for remaining := state.Servers; ; {
+		n := min(maxServersPerMessage, len(remaining))
+		state.Servers, remaining = remaining[:n], remaining[n:]
+		message, err := json.Marshal(learnedStateMessage{&state})
+		if err != nil || len(message) > maxMessageBytes || g.roundTrip(deadline, func() error { _, err := g.conn.Write(message); return err }) != replyLearned {
+			slog.Warn("handover: what was learned is not passed on", "err", err, "bytes", len(message))
 			return
 		}
-		if len(all) == 0 {
+		if len(remaining) == 0 {
 			return
 		}
-		m = balance.LearnedState{} // the rest counts once
+		state = balance.LearnedState{} // the rest counts once
 	}
 }
 
 // ask has a message written and returns the taker's word on it, under the lock; empty if
 // none came in time.
-func (g *Sender) ask(until time.Time, write func() error) string {
-	if g.conn == nil || !time.Now().Before(until) {
+func (g *Sender) roundTrip(deadline time.Time, write func() error) string {
+	if g.conn == nil || !time.Now().Before(deadline) {
 		return ""
 	}
-	err := g.conn.SetDeadline(until)
+	err := g.conn.SetDeadline(deadline)
 	if err == nil {
 		err = write()
 	}
-	var b [len(kept)]byte
+	var reply [len(replyRejected)]byte
 	n := 0
 	if err == nil {
-		n, err = g.conn.Read(b[:])
+		n, err = g.conn.Read(reply[:])
 	}
 	if err != nil {
 		g.fail(err)
 		return ""
 	}
-	return string(b[:n])
+	return string(reply[:n])
 }
 
 // commit lets go of what was offered, under the lock and before ask's deadline. A message
 // that was written lies with the taker, who reads all there is before it gives up; one
 // that was not never comes.
-func (g *Sender) commit() bool {
-	_, err := g.conn.Write([]byte(commit))
+func (g *Sender) sendCommit() bool {
+	_, err := g.conn.Write([]byte(commitMessage))
 	if err != nil {
 		g.fail(err)
 	}
--- a/internal/hotrestart/handover.go
+++ b/internal/hotrestart/handover.go
@@ -25,69 +25,69 @@
 	// within is how long one connection may take, its wait for its turn included: its
 	// caller is not read meanwhile, and a line may be held back for a second. The other
 	// side does no I/O of its own; one that takes longer is about to fail.
-	within = 500 * time.Millisecond
+	transferTimeout = 500 * time.Millisecond
 	// largest bounds a message: what was read and not used, twice, in base64, and the
 	// request.
-	largest = 8 * bufconn.BufferSize
+	maxMessageBytes = 8 * bufconn.BufferSize
 	// version stands before a name: processes that don't agree on what is said don't meet,
 	// and what stands is moved.
-	version = "handover2-"
+	socketPrefix = "handover2-"
 )
 
 // What is said besides messages.
 const (
-	prepared = "prepared"  // the taker's: it holds what was offered
-	kept     = "not taken" // the taker's: it has none of it
-	taken    = "taken"     // the taker's, to what was learned
-	commit   = "commit"    // the giver's: what was offered is the taker's from now on
+	replyPrepared = "prepared"  // the taker's: it holds what was offered
+	replyRejected = "not taken" // the taker's: it has none of it
+	replyLearned  = "taken"     // the taker's, to what was learned
+	commitMessage = "commit"    // the giver's: what was offered is the taker's from now on
 )
 
 // lesson is a message without connections.
-type lesson struct {
+type learnedStateMessage struct {
 	Learned *balance.LearnedState `json:"Learned"`
 }
 
 // servers is how many a message tells of: a fleet may be larger than a message.
-const servers = 64
+const maxServersPerMessage = 64
 
 // socket finds the address of a name in a folder. It must be short, so it names the folder
 // by its descriptor.
-func socket(dir, name string, then func(addr *net.UnixAddr) error) error {
-	folder, err := os.Open(dir)
+func withSocketAddr(dir, name string, use func(addr *net.UnixAddr) error) error {
+	directory, err := os.Open(dir)
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	defer folder.Close()
-	path := filepath.Join(fmt.Sprintf("/proc/self/fd/%d", folder.Fd()), version+name)
-	if err := then(&net.UnixAddr{Name: path, Net: "unixpacket"}); err != nil {
+	defer directory.Close()
+	path := filepath.Join(fmt.Sprintf("/proc/self/fd/%d", directory.Fd()), socketPrefix+name)
+	if err := use(&net.UnixAddr{Name: path, Net: "unixpacket"}); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
 }
 
 // own tells whether the other side is of this process's user.
-func own(conn *net.UnixConn) (yes bool) {
+func isSameUser(conn *net.UnixConn) (same bool) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return false
 	}
 	_ = raw.Control(func(fd uintptr) {
-		cred, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
-		yes = err == nil && int(cred.Uid) == os.Getuid()
+		credentials, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+		same = err == nil && int(credentials.Uid) == os.Getuid()
 	})
-	return yes
+	return same
 }
 
 // with lends a connection's descriptor.
-func with(conn net.Conn, f func(fd int) error) error {
-	c, ok := conn.(syscall.Conn)
+func withDescriptor(conn net.Conn, use func(fd int) error) error {
+	withSyscalls, ok := conn.(syscall.Conn)
 	if !ok {
 		return errors.New("a connection has no descriptor")
 	}
-	raw, err := c.SyscallConn()
+	raw, err := withSyscalls.SyscallConn()
 	if err != nil {
 		return err
 	}
-	inner := raw.Control(func(fd uintptr) { err = f(int(fd)) })
-	return errors.Join(inner, err)
+	controlErr := raw.Control(func(fd uintptr) { err = use(int(fd)) })
+	return errors.Join(controlErr, err)
 }
--- a/internal/hotrestart/handover_test.go
+++ b/internal/hotrestart/handover_test.go
@@ -14,48 +14,48 @@
 )
 
 // taker keeps what it is given, unless it wants nothing.
-type taker struct {
-	mu      sync.Mutex
-	wants   bool
-	given   []proxy.EstablishedSession
-	caller  []net.Conn
-	hop     []net.Conn
-	learned []balance.LearnedState
+type fakeReceiver struct {
+	mu              sync.Mutex
+	accepts         bool
+	sessions        []proxy.EstablishedSession
+	downstreamConns []net.Conn
+	upstreamConns   []net.Conn
+	learned         []balance.LearnedState
 }
 
-func (k *taker) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
+func (k *fakeReceiver) Adopt(s proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.wants {
-		k.given, k.caller, k.hop = append(k.given, s), append(k.caller, caller), append(k.hop, hop)
+	if k.accepts {
+		k.sessions, k.downstreamConns, k.upstreamConns = append(k.sessions, s), append(k.downstreamConns, downstreamConn), append(k.upstreamConns, upstreamConn)
 	}
-	return k.wants
+	return k.accepts
 }
 
-func (k *taker) Learn(m balance.LearnedState) {
+func (k *fakeReceiver) Learn(m balance.LearnedState) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.learned = append(k.learned, m)
 }
 
 // close ends what was given: left to the collector, it would be open for others to count.
-func (k *taker) close() {
+func (k *fakeReceiver) close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, c := range append(k.caller, k.hop...) {
+	for _, c := range append(k.downstreamConns, k.upstreamConns...) {
 		c.Close()
 	}
 }
 
-func (k *taker) last() (s proxy.EstablishedSession, caller, hop net.Conn) {
+func (k *fakeReceiver) last() (s proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	n := len(k.given) - 1
-	return k.given[n], k.caller[n], k.hop[n]
+	n := len(k.sessions) - 1
+	return k.sessions[n], k.downstreamConns[n], k.upstreamConns[n]
 }
 
 // pair returns the two ends of a connection.
-func pair(t *testing.T) (near, far net.Conn) {
+func connectedPair(t *testing.T) (near, far net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -74,14 +74,14 @@
 }
 
 // serve starts a taker, and returns what ends it.
-func serve(t *testing.T, dir string, k Receiver) (end func()) {
+func startReceiver(t *testing.T, dir string, k Receiver) (end func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
-	if err := Listen(ctx, &parts, dir, "node.1", k); err != nil {
+	var goroutines sync.WaitGroup
+	if err := Listen(ctx, &goroutines, dir, "node.1", k); err != nil {
 		t.Fatal(err)
 	}
-	end = func() { cancel(); parts.Wait() }
+	end = func() { cancel(); goroutines.Wait() }
 	t.Cleanup(func() {
 		end()
 		if k, ok := k.(interface{ close() }); ok {
@@ -91,18 +91,18 @@
 	return end
 }
 
-func give(t *testing.T, dir string) *Sender {
+func dialSender(t *testing.T, dir string) *Sender {
 	t.Helper()
-	g, err := Dial(dir, "node.1")
+	sender, err := Dial(dir, "node.1")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(g.Close)
-	return g
+	t.Cleanup(sender.Close)
+	return sender
 }
 
 // works tells whether what is written at one end arrives at the other.
-func works(t *testing.T, near, far net.Conn) {
+func expectConnected(t *testing.T, near, far net.Conn) {
 	t.Helper()
 	for _, ends := range [][2]net.Conn{{near, far}, {far, near}} {
 		ends[1].SetReadDeadline(time.Now().Add(5 * time.Second))
@@ -116,7 +116,7 @@
 }
 
 // descriptors counts those of this process.
-func descriptors(t *testing.T) int {
+func countOpenDescriptors(t *testing.T) int {
 	t.Helper()
 	list, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
@@ -127,10 +127,10 @@
 
 // settles waits for as many descriptors as there were: others of this process open and
 // close some, too.
-func settles(t *testing.T, before int) {
+func expectOpenDescriptors(t *testing.T, before int) {
 	t.Helper()
-	after := descriptors(t)
-	for begun := time.Now(); after != before && time.Since(begun) < 5*time.Second; after = descriptors(t) {
+	after := countOpenDescriptors(t)
+	for begun := time.Now(); after != before && time.Since(begun) < 5*time.Second; after = countOpenDescriptors(t) {
 	}
 	if after != before {
 		t.Errorf("%d descriptors before, %d after", before, after)
@@ -138,9 +138,9 @@
 }
 
 // number is a connection's descriptor.
-func number(t *testing.T, c net.Conn) (fd int) {
+func descriptorOf(t *testing.T, c net.Conn) (fd int) {
 	t.Helper()
-	if err := with(c, func(n int) error { fd = n; return nil }); err != nil {
+	if err := withDescriptor(c, func(n int) error { fd = n; return nil }); err != nil {
 		t.Fatal(err)
 	}
 	return fd
--- a/internal/hotrestart/limits_test.go
+++ b/internal/hotrestart/limits_test.go
@@ -20,74 +20,74 @@
 )
 
 // dawdler takes everything, and more than a third of the time for it each.
-type dawdler struct{ taker }
+type slowReceiver struct{ fakeReceiver }
 
-func (d *dawdler) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
-	time.Sleep(within * 2 / 5)
-	return d.taker.Adopt(s, caller, hop)
+func (d *slowReceiver) Adopt(s proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
+	time.Sleep(transferTimeout * 2 / 5)
+	return d.fakeReceiver.Adopt(s, downstreamConn, upstreamConn)
 }
 
-func (d *dawdler) Learn(m balance.LearnedState) {
-	time.Sleep(within * 2 / 5)
-	d.taker.Learn(m)
+func (d *slowReceiver) Learn(m balance.LearnedState) {
+	time.Sleep(transferTimeout * 2 / 5)
+	d.fakeReceiver.Learn(m)
 }
 
 // A taker that is slow with each holds up nobody for longer than one may take: all others
 // are told so by then, and what was taken works.
-func TestSlowTaker(t *testing.T) {
+func TestSlowReceiverHoldsUpNoSession(t *testing.T) {
 	dir := t.TempDir()
-	k := &dawdler{taker{wants: true}}
-	serve(t, dir, k)
-	g := give(t, dir)
-	var all sync.WaitGroup
+	receiver := &slowReceiver{fakeReceiver{accepts: true}}
+	startReceiver(t, dir, receiver)
+	sender := dialSender(t, dir)
+	var takes sync.WaitGroup
 	begun := time.Now()
 	for range 12 {
-		caller, client := pair(t)
-		hop, feed := pair(t)
-		all.Go(func() {
-			if !g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
-				works(t, caller, client)
-				works(t, hop, feed)
+		downstreamConn, client := connectedPair(t)
+		upstreamConn, server := connectedPair(t)
+		takes.Go(func() {
+			if !sender.Take(proxy.EstablishedSession{Server: "s1"}, downstreamConn, upstreamConn) {
+				expectConnected(t, downstreamConn, client)
+				expectConnected(t, upstreamConn, server)
 			}
 		})
 	}
-	all.Wait()
-	if took := time.Since(begun); took > 2*within {
+	takes.Wait()
+	if took := time.Since(begun); took > 2*transferTimeout {
 		t.Errorf("the last was told after %v", took)
 	}
 }
 
 // What is learned holds up nobody either.
-func TestSlowLearner(t *testing.T) {
+func TestSlowReceiverBoundsLearnedState(t *testing.T) {
 	dir := t.TempDir()
-	serve(t, dir, &dawdler{taker{wants: true}})
-	g := give(t, dir)
-	m := balance.LearnedState{}
-	for i := range 10 * servers {
-		m.Servers = append(m.Servers, balance.LearnedServer{ID: fmt.Sprint("s", i)})
+	startReceiver(t, dir, &slowReceiver{fakeReceiver{accepts: true}})
+	sender := dialSender(t, dir)
+	state := balance.LearnedState{}
+	for i := range 10 * maxServersPerMessage {
+		state.Servers = append(state.Servers, balance.LearnedServer{ID: fmt.Sprint("s", i)})
 	}
 	begun := time.Now()
-	g.SendLearnedState(m)
-	if took := time.Since(begun); took > 2*within {
+	sender.SendLearnedState(state)
+	if took := time.Since(begun); took > 2*transferTimeout {
 		t.Errorf("it took %v", took)
 	}
 }
 
 // fill takes all descriptors but some; free gives so many back. It ends with the test.
-func fill(t *testing.T) (free func(n int)) {
+func exhaustDescriptors(t *testing.T) (free func(n int)) {
 	t.Helper()
-	var was syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+	var previous syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &previous); err != nil {
 		t.Fatal(err)
 	}
 	var files []*os.File
 	t.Cleanup(func() {
-		_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)
+		_ = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &previous)
 		for _, f := range files {
 			_ = f.Close()
 		}
 	})
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(descriptors(t) + 64), Max: was.Max}); err != nil {
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(countOpenDescriptors(t) + 64), Max: previous.Max}); err != nil {
 		t.Fatal(err)
 	}
 	for {
@@ -106,7 +106,7 @@
 }
 
 // count is how many numbers below the limit are descriptors, without opening one.
-func count() (n int) {
+func countDescriptorsInPlace() (n int) {
 	for fd := range 4096 {
 		if _, err := unix.FcntlInt(uintptr(fd), unix.F_GETFD, 0); err == nil {
 			n++
@@ -117,82 +117,82 @@
 
 // A taker at its limit takes what it has room for, loses no descriptor over what it has
 // not, and the giver keeps that.
-func TestTakerAtItsLimit(t *testing.T) {
+func TestReceiverAtItsDescriptorLimit(t *testing.T) {
 	dir := t.TempDir()
-	k := &taker{wants: true}
-	serve(t, dir, k)
-	g := give(t, dir)
-	caller, client := pair(t)
-	hop, feed := pair(t)
-	g.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
-	free := fill(t)
+	receiver := &fakeReceiver{accepts: true}
+	startReceiver(t, dir, receiver)
+	sender := dialSender(t, dir)
+	downstreamConn, client := connectedPair(t)
+	upstreamConn, server := connectedPair(t)
+	sender.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
+	free := exhaustDescriptors(t)
 	for left := range 4 {
-		before := count()
-		if took := g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop); took != (left >= 3) {
+		before := countDescriptorsInPlace()
+		if took := sender.Take(proxy.EstablishedSession{Server: "s1"}, downstreamConn, upstreamConn); took != (left >= 3) {
 			t.Errorf("%d left: taken %v", left, took)
 		}
-		if after := count(); left < 3 && after != before {
+		if after := countDescriptorsInPlace(); left < 3 && after != before {
 			t.Errorf("%d left: %d descriptors before, %d after", left, before, after)
 		}
-		works(t, caller, client)
-		works(t, hop, feed)
+		expectConnected(t, downstreamConn, client)
+		expectConnected(t, upstreamConn, server)
 		free(1)
 	}
 }
 
 // words is told what is logged.
-type words struct {
+type logCapture struct {
 	slog.Handler
-	to chan string
+	messages chan string
 }
 
-func (w words) Enabled(context.Context, slog.Level) bool { return true }
-func (w words) Handle(_ context.Context, r slog.Record) error {
+func (w logCapture) Enabled(context.Context, slog.Level) bool { return true }
+func (w logCapture) Handle(_ context.Context, r slog.Record) error {
 	select {
-	case w.to <- r.Message:
+	case w.messages <- r.Message:
 	default:
 	}
 	return nil
 }
 
 // A taker that is out of descriptors as its giver comes takes what stands once it has some.
-func TestNoDescriptorForTheGiver(t *testing.T) {
+func TestReceiverRetriesAcceptWithoutDescriptors(t *testing.T) {
 	dir := t.TempDir()
-	said := words{slog.Default().Handler(), make(chan string, 99)}
+	captured := logCapture{slog.Default().Handler(), make(chan string, 99)}
 	defer slog.SetDefault(slog.Default())
-	slog.SetDefault(slog.New(said))
+	slog.SetDefault(slog.New(captured))
 	ctx, cancel := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
-	k := &taker{wants: true}
-	defer k.close()
-	if err := Listen(ctx, &parts, dir, "node.1", k); err != nil {
+	var goroutines sync.WaitGroup
+	receiver := &fakeReceiver{accepts: true}
+	defer receiver.close()
+	if err := Listen(ctx, &goroutines, dir, "node.1", receiver); err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan struct{})
-	go func() { parts.Wait(); close(ended) }()
+	go func() { goroutines.Wait(); close(ended) }()
 	defer func() { cancel(); <-ended }()
-	caller, _ := pair(t)
-	hop, _ := pair(t)
-	free := fill(t)
+	downstreamConn, _ := connectedPair(t)
+	upstreamConn, _ := connectedPair(t)
+	free := exhaustDescriptors(t)
 	free(1)
-	conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: filepath.Join(dir, version+"node.1"), Net: "unixpacket"})
+	conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: filepath.Join(dir, socketPrefix+"node.1"), Net: "unixpacket"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &Sender{conn: conn}
-	defer g.Close()
-	for tried := false; !tried; {
+	sender := &Sender{conn: conn}
+	defer sender.Close()
+	for hasRetried := false; !hasRetried; {
 		select {
 		case <-ended:
 			t.Fatal("the taker has gone")
-		case s := <-said.to:
-			tried = strings.Contains(s, "accept")
-		case <-time.After(patience):
+		case s := <-captured.messages:
+			hasRetried = strings.Contains(s, "accept")
+		case <-time.After(testTimeout):
 			t.Fatal("nobody has tried to accept the giver")
 		}
 	}
 	free(8)
-	if !g.Take(proxy.EstablishedSession{Server: "s1"}, caller, hop) {
+	if !sender.Take(proxy.EstablishedSession{Server: "s1"}, downstreamConn, upstreamConn) {
 		t.Error("what stands was not taken")
 	}
 }
--- a/internal/hotrestart/node_test.go
+++ b/internal/hotrestart/node_test.go
@@ -13,43 +13,43 @@
 	"coralrelay/internal/proxy"
 )
 
-func newNode(t *testing.T) *node {
-	n := &node{ended: make(chan balance.Outcome, 9), asked: make(chan struct{}, 9), may: make(chan struct{})}
-	t.Cleanup(n.runs.Wait) // once the far ends are closed
+func newFakeNode(t *testing.T) *fakeNode {
+	n := &fakeNode{ended: make(chan balance.Outcome, 9), adopting: make(chan struct{}, 9), allowAdopt: make(chan struct{})}
+	t.Cleanup(n.sessions.Wait) // once the far ends are closed
 	return n
 }
 
-func (n *node) ClientGone(dispatch.Placement)                          {}
-func (n *node) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { n.ended <- o }
-func (n *node) Learn(balance.LearnedState)                             {}
+func (n *fakeNode) ClientGone(dispatch.Placement)                          {}
+func (n *fakeNode) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { n.ended <- o }
+func (n *fakeNode) Learn(balance.LearnedState)                             {}
 
-func (n *node) Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool {
-	n.asked <- struct{}{}
-	<-n.may
-	n.runs.Go(proxy.Inherit(s, lineproto.Codec{}, n, caller, hop).Run)
+func (n *fakeNode) Adopt(s proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
+	n.adopting <- struct{}{}
+	<-n.allowAdopt
+	n.sessions.Go(proxy.Inherit(s, lineproto.Codec{}, n, downstreamConn, upstreamConn).Run)
 	return true
 }
 
 // stands brings a connection up, and returns it with its far ends.
-func (n *node) stands(t *testing.T) (x *proxy.Session, client, feed net.Conn, finished <-chan struct{}) {
+func (n *fakeNode) startSession(t *testing.T) (session *proxy.Session, client, server net.Conn, finished <-chan struct{}) {
 	t.Helper()
-	caller, client := pair(t)
-	hop, feed := pair(t)
-	x = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Codec{}, n, bufconn.New(caller))
+	downstreamConn, client := connectedPair(t)
+	upstreamConn, server := connectedPair(t)
+	session = proxy.New(proxy.Request{ID: "a"}, nil, lineproto.Codec{}, n, bufconn.New(downstreamConn))
 	done := make(chan struct{})
-	go func() { defer close(done); x.Run() }()
-	if !x.Establish("UP r1", "s1", bufconn.New(hop)) {
+	go func() { defer close(done); session.Run() }()
+	if !session.Establish("UP r1", "s1", bufconn.New(upstreamConn)) {
 		t.Fatal("Up was not taken")
 	}
-	for _, c := range []net.Conn{client, feed} {
-		c.SetDeadline(time.Now().Add(patience))
+	for _, c := range []net.Conn{client, server} {
+		c.SetDeadline(time.Now().Add(testTimeout))
 	}
-	reads(t, client, "UP r1\r\n")
-	return x, client, feed, done
+	expectRead(t, client, "UP r1\r\n")
+	return session, client, server, done
 }
 
 // reads reads just what is wanted.
-func reads(t *testing.T, c io.Reader, want string) {
+func expectRead(t *testing.T, c io.Reader, want string) {
 	t.Helper()
 	b := make([]byte, len(want))
 	if n, err := io.ReadFull(c, b); string(b[:n]) != want {
@@ -58,18 +58,18 @@
 }
 
 // ends reads to an end that is none by reset.
-func ends(t *testing.T, c net.Conn, want string) {
+func expectEnd(t *testing.T, c net.Conn, want string) {
 	t.Helper()
 	if all, err := io.ReadAll(c); err != nil || string(all) != want {
 		t.Errorf("read %q, %v; want %q and its end", all, err, want)
 	}
 }
 
-func wait[T any](t *testing.T, c <-chan T) (v T) {
+func await[T any](t *testing.T, c <-chan T) (v T) {
 	t.Helper()
 	select {
 	case v = <-c:
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		t.Fatal("nothing came")
 	}
 	return v
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -24,12 +24,12 @@
 
 // storedStanding is what standing.json holds, and storedMemory what lesson.json does.
 var (
-	storedStanding = proxy.EstablishedSession{
+	storedSession = proxy.EstablishedSession{
 		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
 			Bound: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
 		Server: "s3", FromClient: []byte("are"), FromUpstream: []byte("LOA"), PendingSince: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
-	storedMemory = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
+	storedLearnedState = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
 		MeanHint: 0.25, HintSamples: 5, Servers: []balance.LearnedServer{
 			{ID: "s1", StartedAt: time.Hour, Load: 0.75, LoadPerConnection: 0.0625, PlacedLoad: 6, Faults: 7, RecentAttempts: 8}}}
 )
@@ -45,12 +45,12 @@
 }
 
 // socketOf is where another version of the process serves.
-func socketOf(dir string) *net.UnixAddr {
+func otherVersionSocket(dir string) *net.UnixAddr {
 	return &net.UnixAddr{Name: filepath.Join(dir, "handover2-node.1"), Net: "unixpacket"}
 }
 
 // expectWord reads one message and requires that it is exactly want.
-func expectWord(t *testing.T, conn net.Conn, want string) {
+func expectReply(t *testing.T, conn net.Conn, want string) {
 	t.Helper()
 	b := make([]byte, 64)
 	if n, err := conn.Read(b); string(b[:n]) != want {
@@ -62,18 +62,18 @@
 // another version.
 func TestStoredMessagesAreWritten(t *testing.T) {
 	dir := t.TempDir()
-	l, err := net.ListenUnix("unixpacket", socketOf(dir))
+	l, err := net.ListenUnix("unixpacket", otherVersionSocket(dir))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	g := give(t, dir)
+	sender := dialSender(t, dir)
 	conn, err := l.AcceptUnix()
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patience))
+	conn.SetDeadline(time.Now().Add(testTimeout))
 	expectMessage := func(name, answer string) {
 		t.Helper()
 		message := make([]byte, 1<<16)
@@ -93,43 +93,43 @@
 			t.Fatal(err)
 		}
 	}
-	caller, _ := pair(t)
-	hop, _ := pair(t)
+	downstreamConn, _ := connectedPair(t)
+	upstreamConn, _ := connectedPair(t)
 	took := make(chan bool, 1)
 	for _, answer := range []string{"not taken", "prepared"} {
-		go func() { took <- g.Take(storedStanding, caller, hop) }()
+		go func() { took <- sender.Take(storedSession, downstreamConn, upstreamConn) }()
 		expectMessage("standing.json", answer)
 		if answer == "prepared" {
-			expectWord(t, conn, "commit")
+			expectReply(t, conn, "commit")
 		}
-		if yes := wait(t, took); yes != (answer == "prepared") {
-			t.Errorf("%s: taken: %v", answer, yes)
+		if accepted := await(t, took); accepted != (answer == "prepared") {
+			t.Errorf("%s: taken: %v", answer, accepted)
 		}
 	}
-	go func() { g.SendLearnedState(storedMemory); took <- true }()
+	go func() { sender.SendLearnedState(storedLearnedState); took <- true }()
 	expectMessage("lesson.json", "taken")
-	wait(t, took)
+	await(t, took)
 }
 
 // The taker reads the stored bytes to the same values and replies in the words that a giver
 // of another version expects.
 func TestStoredMessagesAreRead(t *testing.T) {
-	dir, k := t.TempDir(), &taker{wants: true}
-	serve(t, dir, k)
-	conn, err := net.DialUnix("unixpacket", nil, socketOf(dir))
+	dir, receiver := t.TempDir(), &fakeReceiver{accepts: true}
+	startReceiver(t, dir, receiver)
+	conn, err := net.DialUnix("unixpacket", nil, otherVersionSocket(dir))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(patience))
-	caller, _ := pair(t)
-	hop, _ := pair(t)
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	downstreamConn, _ := connectedPair(t)
+	upstreamConn, _ := connectedPair(t)
 	for _, m := range []struct {
 		text   []byte
 		rights []byte
 		answer string
 	}{
-		{stored(t, "standing.json"), unix.UnixRights(number(t, caller), number(t, hop)), "prepared"},
+		{stored(t, "standing.json"), unix.UnixRights(descriptorOf(t, downstreamConn), descriptorOf(t, upstreamConn)), "prepared"},
 		{[]byte("commit"), nil, ""},
 		{stored(t, "lesson.json"), nil, "taken"},
 		{[]byte("no message"), nil, "not taken"},
@@ -138,18 +138,18 @@
 			t.Fatal(err)
 		}
 		if m.answer != "" {
-			expectWord(t, conn, m.answer)
+			expectReply(t, conn, m.answer)
 		}
 	}
-	standing, _, _ := k.last()
-	standing.Gate = nil
-	if !reflect.DeepEqual(standing, storedStanding) {
-		t.Errorf("read %+v\nwant %+v", standing, storedStanding)
+	session, _, _ := receiver.last()
+	session.Gate = nil
+	if !reflect.DeepEqual(session, storedSession) {
+		t.Errorf("read %+v\nwant %+v", session, storedSession)
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.learned) != 1 || !reflect.DeepEqual(k.learned[0], storedMemory) {
-		t.Errorf("learned %+v\nwant %+v", k.learned, storedMemory)
+	receiver.mu.Lock()
+	defer receiver.mu.Unlock()
+	if len(receiver.learned) != 1 || !reflect.DeepEqual(receiver.learned[0], storedLearnedState) {
+		t.Errorf("learned %+v\nwant %+v", receiver.learned, storedLearnedState)
 	}
 	var again proxy.EstablishedSession // in the stored message both are true
 	if err := json.Unmarshal([]byte(`{"Retry":true}`), &again); err != nil || !again.Retry || again.Returned {
--- a/internal/hotrestart/taker_test.go
+++ b/internal/hotrestart/taker_test.go
@@ -15,25 +15,25 @@
 )
 
 // Messages that are none are answered, and cost no descriptor.
-func TestForeignMessages(t *testing.T) {
+func TestRejectsForeignMessages(t *testing.T) {
 	dir := t.TempDir()
-	k := &taker{wants: true}
-	serve(t, dir, k)
-	g := give(t, dir)
-	near, far := pair(t)
+	receiver := &fakeReceiver{accepts: true}
+	startReceiver(t, dir, receiver)
+	sender := dialSender(t, dir)
+	near, far := connectedPair(t)
 	datagrams, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer datagrams.Close()
-	a, b, udp := number(t, near), number(t, far), number(t, datagrams)
+	a, b, udp := descriptorOf(t, near), descriptorOf(t, far), descriptorOf(t, datagrams)
 	file, err := os.Open(os.DevNull)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	g.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
-	before := descriptors(t)
+	sender.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
+	before := countOpenDescriptors(t)
 	for name, m := range map[string]struct {
 		text string
 		fds  []int
@@ -47,19 +47,19 @@
 		if m.fds != nil {
 			rights = unix.UnixRights(m.fds...)
 		}
-		if _, _, err := g.conn.WriteMsgUnix([]byte(m.text), rights, nil); err != nil {
+		if _, _, err := sender.conn.WriteMsgUnix([]byte(m.text), rights, nil); err != nil {
 			t.Fatal(name, err)
 		}
 		answer := make([]byte, 16)
-		g.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-		n, err := g.conn.Read(answer)
-		if string(answer[:n]) != kept {
+		sender.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		n, err := sender.conn.Read(answer)
+		if string(answer[:n]) != replyRejected {
 			t.Errorf("%s: answered %q, %v", name, answer[:n], err)
 		}
 	}
-	settles(t, before)
-	if len(k.given) > 0 {
-		t.Errorf("taken: %v", k.given)
+	expectOpenDescriptors(t, before)
+	if len(receiver.sessions) > 0 {
+		t.Errorf("taken: %v", receiver.sessions)
 	}
-	works(t, near, far)
+	expectConnected(t, near, far)
 }
