--- a/internal/fleet/replog/cipher_test.go
+++ b/internal/fleet/replog/cipher_test.go
@@ -15,10 +15,10 @@
 )
 
 // pair returns both ends of a connection, each with its key.
-func pair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *sealedConn) {
+func connectedPair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *sealedConn) {
 	a, b := net.Pipe()
 	for _, c := range []net.Conn{a, b} {
-		_ = c.SetDeadline(time.Now().Add(patience))
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
 	}
 	done := make(chan error, 1)
 	go func() {
@@ -36,12 +36,12 @@
 	return caller, called
 }
 
-func same(c net.Conn) net.Conn { return c }
+func unaltered(c net.Conn) net.Conn { return c }
 
 // What is said comes out as it was, in whatever parts it is said and read.
-func TestFrames(t *testing.T) {
+func TestFramesArriveUnchangedInAnySplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := pair(t, "0123456789abcdef", "0123456789abcdef", same)
+		a, b := connectedPair(t, "0123456789abcdef", "0123456789abcdef", unaltered)
 		defer func() { _, _ = a.Close(), b.Close() }()
 		parts := rapid.SliceOfN(rapid.IntRange(0, 3*maxFrameSize), 1, 5).Draw(t, "parts")
 		seed := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "seed")
@@ -63,13 +63,13 @@
 }
 
 // spoiling flips one bit of what is written after the greeting.
-type spoiling struct {
+type bitFlipper struct {
 	net.Conn
-	at, written int
+	offset, written int
 }
 
-func (s *spoiling) Write(p []byte) (int, error) {
-	if at := s.at - s.written; at >= 0 && at < len(p) {
+func (s *bitFlipper) Write(p []byte) (int, error) {
+	if at := s.offset - s.written; at >= 0 && at < len(p) {
 		p = bytes.Clone(p)
 		p[at] ^= 4
 	}
@@ -78,7 +78,7 @@
 }
 
 // Not a byte comes out of a frame that was changed on its way, or sealed with another key.
-func TestFramesSpoilt(t *testing.T) {
+func TestRejectsAlteredFrames(t *testing.T) {
 	const greeting = len(magic) + nonceSize
 	text := []byte("an entry of the record")
 	cases := map[string]struct {
@@ -90,7 +90,7 @@
 		if c.key == "" {
 			c.key = key
 		}
-		a, b := pair(t, c.key, key, func(n net.Conn) net.Conn { return &spoiling{Conn: n, at: c.at} })
+		a, b := connectedPair(t, c.key, key, func(n net.Conn) net.Conn { return &bitFlipper{Conn: n, offset: c.at} })
 		go func() { _, _ = a.Write(text); _ = a.Close() }()
 		if got, err := io.ReadAll(b); err == nil || len(got) > 0 {
 			t.Errorf("%s: %q came out, %v", name, got, err)
@@ -100,7 +100,7 @@
 }
 
 // sealedByHand returns a frame as the wire has it: two bytes of length, and the text sealed.
-func sealedByHand(t *testing.T, key, salt []byte, direction string, number byte, text string) []byte {
+func expectedFrame(t *testing.T, key, salt []byte, direction string, number byte, text string) []byte {
 	t.Helper()
 	derived, err := hkdf.Key(sha256.New, key, salt, "coralrelay-record-1 "+direction, 32)
 	if err != nil {
@@ -121,7 +121,7 @@
 
 // greetedByHand plays the other side of a greeting on a, and returns both nonces, the
 // caller's first, and the conn that greet made.
-func greetedByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *sealedConn) {
+func handshakeByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *sealedConn) {
 	t.Helper()
 	greeted := make(chan error, 1)
 	go func() {
@@ -151,14 +151,14 @@
 }
 
 // Greeting and frames are, byte for byte, what a peer of another release says and awaits.
-func TestFramesByHand(t *testing.T) {
+func TestFramesMatchTheWireFormat(t *testing.T) {
 	key := []byte("0123456789abcdef")
 	for _, calls := range []bool{true, false} {
 		a, b := net.Pipe()
 		for _, c := range []net.Conn{a, b} {
-			_ = c.SetDeadline(time.Now().Add(patience))
+			_ = c.SetDeadline(time.Now().Add(testTimeout))
 		}
-		salt, c := greetedByHand(t, a, b, key, calls)
+		salt, c := handshakeByHand(t, a, b, key, calls)
 		out, in := "caller", "called"
 		if !calls {
 			out, in = in, out
@@ -166,12 +166,12 @@
 		done := make(chan error, 1)
 		for number, text := range []string{"first", "the second"} {
 			go func() { _, err := c.Write([]byte(text)); done <- err }()
-			want := sealedByHand(t, key, salt, out, byte(number), text)
+			want := expectedFrame(t, key, salt, out, byte(number), text)
 			got := make([]byte, len(want))
 			if _, err := io.ReadFull(a, got); err != nil || <-done != nil || !bytes.Equal(got, want) {
 				t.Errorf("calls %v, %q: written %x, %v; want %x", calls, text, got, err, want)
 			}
-			frame := sealedByHand(t, key, salt, in, byte(number), text)
+			frame := expectedFrame(t, key, salt, in, byte(number), text)
 			go func() { _, err := a.Write(frame); done <- err }()
 			read := make([]byte, len(text))
 			if _, err := io.ReadFull(c, read); err != nil || <-done != nil || string(read) != text {
--- a/internal/fleet/replog/cluster_test.go
+++ b/internal/fleet/replog/cluster_test.go
@@ -18,28 +18,28 @@
 )
 
 // patience is how long a test waits for an event before it fails.
-const patience = 10 * time.Second
+const testTimeout = 10 * time.Second
 
-var nets atomic.Int32
+var fleetCount atomic.Int32
 
 // fleet is members in one process, on loopback addresses of the test's own.
-type fleet struct {
+type testFleet struct {
 	t       *testing.T
 	voters  []Voter
-	members map[string]*member
+	members map[string]*testMember
 }
 
-type member struct {
+type testMember struct {
 	*Replica
-	o    Options
-	full atomic.Bool // its disk
-	end  context.CancelFunc
-	done chan struct{}
+	options  Options
+	diskFull atomic.Bool // its disk
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
-func newFleet(t *testing.T, voters int) *fleet {
-	f := &fleet{t: t, members: map[string]*member{}}
-	n, pid := nets.Add(1), os.Getpid()
+func newFleet(t *testing.T, voters int) *testFleet {
+	f := &testFleet{t: t, members: map[string]*testMember{}}
+	n, pid := fleetCount.Add(1), os.Getpid()
 	for i := range voters {
 		f.voters = append(f.voters, Voter{Name: fmt.Sprintf("v%d", i), Zone: fmt.Sprintf("z%d", i),
 			Addr: fmt.Sprintf("127.%d.%d.%d:%d", 100+pid/256%100, pid%256, i+1, 2000+32*int(n))})
@@ -55,37 +55,37 @@
 	return f
 }
 
-func (f *fleet) start(name, bind string, edit func(*Options)) *member {
+func (f *testFleet) start(name, bind string, edit func(*Options)) *testMember {
 	f.t.Helper()
-	m := &member{done: make(chan struct{})}
-	m.o = Options{Name: name, Dir: filepath.Join(f.t.TempDir(), name), Bind: bind, Voters: f.voters, Key: []byte("0123456789abcdef"),
+	m := &testMember{done: make(chan struct{})}
+	m.options = Options{Name: name, Dir: filepath.Join(f.t.TempDir(), name), Bind: bind, Voters: f.voters, Key: []byte("0123456789abcdef"),
 		InjectFault: func(op string) error {
-			if m.full.Load() {
+			if m.diskFull.Load() {
 				return errors.New("disk full")
 			}
 			return nil
 		}}
 	if edit != nil {
-		edit(&m.o)
+		edit(&m.options)
 	}
-	r, err := Open(m.o)
+	r, err := Open(m.options)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	m.Replica = r
 	ctx, end := context.WithCancel(context.Background())
-	m.end = end
+	m.cancel = end
 	go func() { defer close(m.done); _ = r.Run(ctx) }()
 	f.members[name] = m
 	return m
 }
 
-func (m *member) kill() { m.end(); <-m.done }
+func (m *testMember) kill() { m.cancel(); <-m.done }
 
 // again starts a member that was killed, on the same disk.
-func (f *fleet) again(m *member, edit func(*Options)) *member {
-	return f.start(m.o.Name, m.o.Bind, func(o *Options) {
-		o.Dir = m.o.Dir
+func (f *testFleet) restart(m *testMember, edit func(*Options)) *testMember {
+	return f.start(m.options.Name, m.options.Bind, func(o *Options) {
+		o.Dir = m.options.Dir
 		if edit != nil {
 			edit(o)
 		}
@@ -93,9 +93,9 @@
 }
 
 // until waits for a member's view.
-func (f *fleet) until(m *member, what string, ok func(View) bool) View {
+func (f *testFleet) await(m *testMember, what string, ok func(View) bool) View {
 	f.t.Helper()
-	for deadline := time.After(patience); ; {
+	for deadline := time.After(testTimeout); ; {
 		woken := m.Changed()
 		if v := m.View(); ok(v) {
 			return v
@@ -104,15 +104,15 @@
 		case <-woken:
 		case <-deadline:
 			v := m.View()
-			f.t.Fatalf("%s: not %s; index %d, %+v", m.o.Name, what, v.State.Index, v)
+			f.t.Fatalf("%s: not %s; index %d, %+v", m.options.Name, what, v.State.Index, v)
 		}
 	}
 }
 
 // leader waits for one that is ready, other than those named.
-func (f *fleet) leader(not ...*member) *member {
+func (f *testFleet) awaitLeader(not ...*testMember) *testMember {
 	f.t.Helper()
-	found := make(chan *member, len(f.voters))
+	found := make(chan *testMember, len(f.voters))
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -144,41 +144,41 @@
 	select {
 	case m := <-found:
 		return m
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		f.t.Fatal("no leader")
 		return nil
 	}
 }
 
 // change is an entry that is taken on a version; each makes the next version.
-func change(version uint64) logentry.Entry {
+func zonesEntry(version uint64) logentry.Entry {
 	body, _ := json.Marshal(zonestatus.Change{BaseVersion: version, Zones: []string{"z0", "z1", "z2"}, Shed: float64(version%2+1) / 4})
 	return logentry.Entry{Kind: logentry.KindZones, ProposedBy: "test", Body: body}
 }
 
-func (f *fleet) propose(m *member) logentry.Outcome {
+func (f *testFleet) propose(m *testMember) logentry.Outcome {
 	f.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	out, err := m.Propose(ctx, change(f.leader().View().State.Zones.Version))
+	out, err := m.Propose(ctx, zonesEntry(f.awaitLeader().View().State.Zones.Version))
 	if err != nil || !out.Accepted {
-		f.t.Fatalf("%s: proposed: %+v, %v", m.o.Name, out, err)
+		f.t.Fatalf("%s: proposed: %+v, %v", m.options.Name, out, err)
 	}
 	return out
 }
 
-func (f *fleet) all(what string, ok func(View) bool) {
+func (f *testFleet) awaitAll(what string, ok func(View) bool) {
 	f.t.Helper()
 	for _, m := range f.members {
-		f.until(m, what, ok)
+		f.await(m, what, ok)
 	}
 }
 
-func follower(f *fleet, n int) *member {
+func startFollower(f *testFleet, n int) *testMember {
 	at := netip.MustParseAddrPort(f.voters[0].Addr)
 	return f.start(fmt.Sprintf("f%d", n), netip.AddrPortFrom(at.Addr(), at.Port()+uint16(n)).String(), nil)
 }
 
-func reached(n uint64) func(View) bool {
+func freshAtIndex(n uint64) func(View) bool {
 	return func(v View) bool { return v.State.Index >= n && v.Fresh }
 }
--- a/internal/fleet/replog/commit_test.go
+++ b/internal/fleet/replog/commit_test.go
@@ -8,24 +8,24 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-func TestCommitReachesAll(t *testing.T) {
+func TestCommittedEntryReachesEveryMember(t *testing.T) {
 	f := newFleet(t, 3)
-	a, b := follower(f, 1), follower(f, 2)
-	f.leader()
+	a, b := startFollower(f, 1), startFollower(f, 2)
+	f.awaitLeader()
 	out := f.propose(a)
-	f.all("at the entry", reached(out.Index))
+	f.awaitAll("at the entry", freshAtIndex(out.Index))
 	last := f.propose(b)
 	if last.Index != out.Index+1 {
 		t.Errorf("index %d after %d", last.Index, out.Index)
 	}
-	f.all("at the next", reached(last.Index))
-	want := f.leader().View().State.Hash
+	f.awaitAll("at the next", freshAtIndex(last.Index))
+	want := f.awaitLeader().View().State.Hash
 	for name, m := range f.members {
 		if got := m.View().State.Hash; got != want {
 			t.Errorf("%s: hash %x, the leader's is %x", name, got, want)
 		}
 	}
-	refused, err := a.Propose(context.Background(), change(0))
+	refused, err := a.Propose(context.Background(), zonesEntry(0))
 	if err != nil || refused.Accepted || refused.Index != 0 || refused.Reason == "" {
 		t.Errorf("an entry on an old version: %+v, %v", refused, err)
 	}
@@ -33,45 +33,45 @@
 	for _, m := range f.members {
 		if ra := m.raft.Load(); ra != nil {
 			if err := ra.Snapshot().Error(); err != nil {
-				t.Errorf("%s: snapshot: %v", m.o.Name, err)
+				t.Errorf("%s: snapshot: %v", m.options.Name, err)
 			}
 		}
 		m.kill()
 	}
-	a = f.again(a, nil)
+	a = f.restart(a, nil)
 	if v := a.View(); v.State.Index != last.Index || v.State.Hash != want || v.Fresh {
 		t.Errorf("alone: %+v", v)
 	}
 	// Voters that start from a snapshot, without the log before it, go on where they were.
 	for _, v := range f.voters {
-		f.again(f.members[v.Name], nil)
+		f.restart(f.members[v.Name], nil)
 	}
 	f.propose(a)
 	for _, v := range f.voters {
-		f.until(f.members[v.Name], "at the third", reached(last.Index+1))
+		f.await(f.members[v.Name], "at the third", freshAtIndex(last.Index+1))
 		if d := f.members[v.Name].raft.Load(); d.Stats()["last_snapshot_index"] == "0" {
 			t.Errorf("%s has no snapshot", v.Name)
 		}
 	}
 }
 
-func TestLeaderKilled(t *testing.T) {
+func TestNewLeaderAfterLeaderCrash(t *testing.T) {
 	f := newFleet(t, 3)
-	a := follower(f, 1)
-	old := f.leader()
+	a := startFollower(f, 1)
+	old := f.awaitLeader()
 	f.propose(a)
 	answered := make(chan error, 1)
 	version := old.View().State.Zones.Version
 	var out logentry.Outcome
 	go func() {
 		var err error
-		out, err = a.Propose(context.Background(), change(version))
+		out, err = a.Propose(context.Background(), zonesEntry(version))
 		answered <- err
 	}()
 	old.kill()
 	err := <-answered
-	next := f.leader(old)
-	f.until(a, "fresh again", func(v View) bool { return v.Fresh && v.Leader == next.o.Name })
+	next := f.awaitLeader(old)
+	f.await(a, "fresh again", func(v View) bool { return v.Fresh && v.Leader == next.options.Name })
 	if got := next.View().State.Zones.Version; err == nil && (!out.Accepted || got <= version) {
 		t.Errorf("answered %+v, and the new leader is at version %d of %d", out, got, version)
 	} else if err != nil && !errors.Is(err, ErrOutcomeUnknown) && got != version {
--- a/internal/fleet/replog/disk_test.go
+++ b/internal/fleet/replog/disk_test.go
@@ -11,29 +11,29 @@
 
 // A leader whose disk fills in mid-decision leads no more, goes on in memory and is a voter
 // again when the disk takes writes.
-func TestDiskFull(t *testing.T) {
+func TestLeaderWithFullDiskStepsDownAndReturns(t *testing.T) {
 	f := newFleet(t, 3)
-	a := follower(f, 1)
-	old := f.leader()
+	a := startFollower(f, 1)
+	old := f.awaitLeader()
 	f.propose(a)
-	old.full.Store(true)
-	out, err := old.Propose(t.Context(), change(old.View().State.Zones.Version))
+	old.diskFull.Store(true)
+	out, err := old.Propose(t.Context(), zonesEntry(old.View().State.Zones.Version))
 	if err == nil && out.Accepted {
 		if v := old.View(); v.State.Index != out.Index {
 			t.Errorf("answered %+v, its view is at %d", out, v.State.Index)
 		}
 	}
-	next := f.leader(old)
-	f.until(old, "in memory", func(v View) bool { return v.Role == "memory" && v.DiskError != "" })
+	next := f.awaitLeader(old)
+	f.await(old, "in memory", func(v View) bool { return v.Role == "memory" && v.DiskError != "" })
 	last := f.propose(a)
-	f.all("at what was decided without it", reached(last.Index))
+	f.awaitAll("at what was decided without it", freshAtIndex(last.Index))
 	if old.IsLeader() || old.View().Role != "memory" {
-		t.Errorf("%s: %+v", old.o.Name, old.View())
+		t.Errorf("%s: %+v", old.options.Name, old.View())
 	}
-	old.full.Store(false)
-	f.until(old, "a voter again", func(v View) bool { return v.Role == "voter" && v.DiskError == "" })
+	old.diskFull.Store(false)
+	f.await(old, "a voter again", func(v View) bool { return v.Role == "voter" && v.DiskError == "" })
 	next.kill() // now its vote is needed
-	f.leader(next)
+	f.awaitLeader(next)
 	if out := f.propose(a); out.Index != last.Index+1 {
 		t.Errorf("index %d after %d", out.Index, last.Index)
 	}
@@ -41,13 +41,13 @@
 
 // A voter whose store is torn sets it aside, has no vote until it holds what it may have
 // promised, and then votes again.
-func TestTornVotes(t *testing.T) {
+func TestVoterWithTornStoreIsReadmitted(t *testing.T) {
 	f := newFleet(t, 3)
-	f.leader()
+	f.awaitLeader()
 	f.propose(f.members["v0"])
 	torn := f.members["v1"]
 	torn.kill()
-	path := filepath.Join(torn.o.Dir, "votes.db")
+	path := filepath.Join(torn.options.Dir, "votes.db")
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -55,10 +55,10 @@
 	if err := os.WriteFile(path, raw[:len(raw)/3], 0o600); err != nil {
 		t.Fatal(err)
 	}
-	lead := f.leader(torn)
-	id := torn.o.Name
-	torn = f.again(torn, nil)
-	f.until(torn, "a voter again", func(v View) bool { return v.Role == "voter" || v.Role == "leader" })
+	lead := f.awaitLeader(torn)
+	id := torn.options.Name
+	torn = f.restart(torn, nil)
+	f.await(torn, "a voter again", func(v View) bool { return v.Role == "voter" || v.Role == "leader" })
 	if set, _ := filepath.Glob(path + ".torn-*"); len(set) != 1 {
 		t.Errorf("set aside: %v", set)
 	}
@@ -67,7 +67,7 @@
 	}
 	other := f.members["v0"]
 	for _, m := range f.members {
-		if m != torn && m != f.leader() {
+		if m != torn && m != f.awaitLeader() {
 			other = m
 		}
 	}
@@ -79,35 +79,35 @@
 }
 
 // One voter's blank store is no ground to found anew, whatever the others have lost.
-func TestTwoStoresLost(t *testing.T) {
+func TestLostStoresNeverBootstrapAgain(t *testing.T) {
 	f := newFleet(t, 3)
-	f.leader()
+	f.awaitLeader()
 	last := f.propose(f.members["v0"])
-	f.all("at the entry", reached(last.Index))
+	f.awaitAll("at the entry", freshAtIndex(last.Index))
 	for _, name := range []string{"v0", "v1", "v2"} {
 		m := f.members[name]
 		m.kill()
 		if name != "v2" {
-			if err := os.Remove(filepath.Join(m.o.Dir, "votes.db")); err != nil {
+			if err := os.Remove(filepath.Join(m.options.Dir, "votes.db")); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
-	a, b, c := f.again(f.members["v0"], nil), f.again(f.members["v1"], nil), f.again(f.members["v2"], nil)
-	f.until(c, "a voter", func(v View) bool { return v.Role == "voter" })
-	for _, m := range []*member{a, b} {
-		f.until(m, "with a store", func(View) bool { return m.voterInfo.Load() != nil })
+	a, b, c := f.restart(f.members["v0"], nil), f.restart(f.members["v1"], nil), f.restart(f.members["v2"], nil)
+	f.await(c, "a voter", func(v View) bool { return v.Role == "voter" })
+	for _, m := range []*testMember{a, b} {
+		f.await(m, "with a store", func(View) bool { return m.voterInfo.Load() != nil })
 		founders, lost, _ := m.surveyVoters(t.Context(), m.voterInfo.Load().StoreID)
 		if founders != nil || !lost {
-			t.Errorf("%s: founders %v, lost %v", m.o.Name, founders, lost)
+			t.Errorf("%s: founders %v, lost %v", m.options.Name, founders, lost)
 		}
 		if v := m.View(); v.Role == "leader" || v.State.Index != last.Index {
-			t.Errorf("%s: %+v", m.o.Name, v)
+			t.Errorf("%s: %+v", m.options.Name, v)
 		}
 	}
 }
 
-func TestDiskKeeps(t *testing.T) {
+func TestVoterStorePersistsLogAndVote(t *testing.T) {
 	o := Options{Dir: t.TempDir(), InjectFault: func(string) error { return nil }}
 	open := func() *voterStore {
 		d, why, err := openVoterStore(&o, func() {})
--- a/internal/fleet/replog/follow_test.go
+++ b/internal/fleet/replog/follow_test.go
@@ -12,7 +12,7 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-func TestCheckVoters(t *testing.T) {
+func TestCheckVotersRejectsBadSets(t *testing.T) {
 	set := func(zones ...string) (v []Voter) {
 		for i, z := range zones {
 			v = append(v, Voter{Name: fmt.Sprint("v", i), Addr: fmt.Sprintf("127.0.0.%d:7000", i+1), Zone: z})
@@ -44,15 +44,15 @@
 
 // However many members there are, all find room where none feeds more than fan. Once those
 // nearer to the leader have their place, no word makes more than four hops.
-func TestFanOut(t *testing.T) {
+func TestEveryMemberFindsAnUpstream(t *testing.T) {
 	for _, c := range []struct{ voters, peers int }{{3, 1}, {3, 24}, {3, 150}, {3, 300}, {5, 300}} {
 		for _, sorted := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%d+%d/%v", c.voters, c.peers, sorted), func(t *testing.T) { fanOut(t, c.voters, c.peers, sorted) })
+			t.Run(fmt.Sprintf("%d+%d/%v", c.voters, c.peers, sorted), func(t *testing.T) { checkFanOut(t, c.voters, c.peers, sorted) })
 		}
 	}
 }
 
-func fanOut(t *testing.T, v, n int, sorted bool) {
+func checkFanOut(t *testing.T, v, n int, sorted bool) {
 	voters, peers, most := make([]Voter, v), make([]Peer, n), maxPathLength
 	for i := range voters {
 		voters[i] = Voter{Name: fmt.Sprint("v", i), Addr: "x"}
@@ -97,9 +97,9 @@
 }
 
 // Whoever has not the key hears nothing, and keeps nobody from deciding.
-func TestStrangers(t *testing.T) {
+func TestIgnoresPeersWithoutTheKey(t *testing.T) {
 	f := newFleet(t, 3)
-	lead := f.leader()
+	lead := f.awaitLeader()
 	var idle []net.Conn
 	for range 3 * maxHandshakes {
 		c, err := net.Dial("tcp", lead.Addr())
@@ -109,29 +109,29 @@
 		defer func() { _ = c.Close() }()
 		idle = append(idle, c)
 	}
-	stranger := follower(f, 1)
+	stranger := startFollower(f, 1)
 	stranger.kill()
-	stranger = f.again(stranger, func(o *Options) { o.Key = []byte("fedcba9876543210") })
+	stranger = f.restart(stranger, func(o *Options) { o.Key = []byte("fedcba9876543210") })
 	out := f.propose(f.members["v0"])
 	for _, v := range f.voters {
-		f.until(f.members[v.Name], "at the entry", reached(out.Index))
+		f.await(f.members[v.Name], "at the entry", freshAtIndex(out.Index))
 	}
 	if v := stranger.View(); v.State.Index != 0 || v.Fresh {
 		t.Errorf("the stranger knows of %d entries", v.State.Index)
 	}
-	_ = idle[0].SetReadDeadline(time.Now().Add(patience))
+	_ = idle[0].SetReadDeadline(time.Now().Add(testTimeout))
 	if n, err := idle[0].Read(make([]byte, 1)); n > 0 || err == nil {
 		t.Error("an idle stranger was told something")
 	}
 }
 
 // A follower whose chain is another is refused by all, and says that it hears nothing.
-func TestForked(t *testing.T) {
+func TestRejectsForkedChain(t *testing.T) {
 	f := newFleet(t, 3)
-	a := follower(f, 1)
-	f.leader()
+	a := startFollower(f, 1)
+	f.awaitLeader()
 	out := f.propose(a)
-	f.all("at the entry", reached(out.Index))
+	f.awaitAll("at the entry", freshAtIndex(out.Index))
 	a.kill()
 	forkedState, _ := a.initialState.Apply([]byte("an entry that was never committed"))
 	a.publisher.view.Store(&View{State: forkedState})
@@ -139,7 +139,7 @@
 	a.stateFile.store = nil
 	a.stateFile.write()
 	_ = a.stateFile.store.Close()
-	a = f.again(a, nil)
+	a = f.restart(a, nil)
 	h := hello{Name: "f1", Index: forkedState.Index, Hash: forkedState.Hash}
 	for _, v := range f.voters {
 		if refused := f.members[v.Name].admitFollower(&h, &sealedConn{}); refused == nil || refused.Reason != reasonForked {
@@ -147,7 +147,7 @@
 		}
 	}
 	last := f.propose(f.members["v0"])
-	f.until(f.members["v1"], "at the next", reached(last.Index))
+	f.await(f.members["v1"], "at the next", freshAtIndex(last.Index))
 	if v := a.View(); v.State.Hash != forkedState.Hash || v.Fresh {
 		t.Errorf("%+v", v)
 	}
@@ -160,7 +160,7 @@
 }
 
 // A member that feeds as many as it may names them to the next; voters it feeds all the same.
-func TestFull(t *testing.T) {
+func TestFullMemberNamesAlternatives(t *testing.T) {
 	voters := []Voter{{Name: "a", Addr: "x:1"}, {Name: "b", Addr: "x:2"}, {Name: "c", Addr: "x:3"}}
 	r, err := Open(Options{Name: "f", Dir: t.TempDir(), Bind: "127.0.0.1:0", Voters: voters, Key: []byte("0123456789abcdef")})
 	if err != nil {
--- a/internal/fleet/replog/number_test.go
+++ b/internal/fleet/replog/number_test.go
@@ -13,24 +13,24 @@
 )
 
 // heldConn keeps what is read or written back until a time that is set.
-type heldConn struct {
+type delayedConn struct {
 	net.Conn
-	in, out time.Time
+	readUntil, writeUntil time.Time
 }
 
-func (h *heldConn) Read(p []byte) (int, error) {
+func (h *delayedConn) Read(p []byte) (int, error) {
 	n, err := h.Conn.Read(p)
-	time.Sleep(time.Until(h.in))
+	time.Sleep(time.Until(h.readUntil))
 	return n, err
 }
 
-func (h *heldConn) Write(p []byte) (int, error) {
-	time.Sleep(time.Until(h.out))
+func (h *delayedConn) Write(p []byte) (int, error) {
+	time.Sleep(time.Until(h.writeUntil))
 	return h.Conn.Write(p)
 }
 
 // bare is a member without a disk and a port.
-func bare(t *testing.T, name string) *Replica {
+func newBareReplica(t *testing.T, name string) *Replica {
 	first, err := logentry.NewState(logentry.Genesis{})
 	if err != nil {
 		t.Fatal(err)
@@ -39,20 +39,20 @@
 }
 
 // A word that waits on its way, or whose number does, is taken for no younger than it is.
-func TestHeldBeat(t *testing.T) {
+func TestDelayedHeartbeatNeverLooksYounger(t *testing.T) {
 	const held = time.Second - time.Millisecond
-	for name, hold := range map[string]func(*heldConn, time.Time){
-		"none":   func(*heldConn, time.Time) {},
-		"beat":   func(h *heldConn, until time.Time) { h.in = until },
-		"number": func(h *heldConn, until time.Time) { h.out = until },
+	for name, hold := range map[string]func(*delayedConn, time.Time){
+		"none":   func(*delayedConn, time.Time) {},
+		"beat":   func(h *delayedConn, until time.Time) { h.readUntil = until },
+		"number": func(h *delayedConn, until time.Time) { h.writeUntil = until },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var wire *heldConn
-				up, down := bare(t, "up"), bare(t, "down")
+				var wire *delayedConn
+				up, down := newBareReplica(t, "up"), newBareReplica(t, "down")
 				down.initialState = up.initialState
-				caller, called := pair(t, "0123456789abcdef", "0123456789abcdef", func(c net.Conn) net.Conn {
-					wire = &heldConn{Conn: c}
+				caller, called := connectedPair(t, "0123456789abcdef", "0123456789abcdef", func(c net.Conn) net.Conn {
+					wire = &delayedConn{Conn: c}
 					return wire
 				})
 				_, _ = caller.SetDeadline(time.Time{}), called.SetDeadline(time.Time{})
@@ -102,8 +102,8 @@
 
 // Who sends numbers faster than beats name them is cut off, and a beat names no other than
 // the last two.
-func TestNumbers(t *testing.T) {
-	a, b := pair(t, "0123456789abcdef", "0123456789abcdef", same)
+func TestRejectsUnexpectedSequence(t *testing.T) {
+	a, b := connectedPair(t, "0123456789abcdef", "0123456789abcdef", unaltered)
 	defer func() { _, _ = a.Close(), b.Close() }()
 	go func() {
 		for n := range uint64(2) {
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -83,7 +83,7 @@
 
 // storedStore holds a store that was written now to the stored one, by all that is in them,
 // and returns a folder with a copy of the latter.
-func storedStore(t *testing.T, written, kind string) (dir string) {
+func assertStoredStore(t *testing.T, written, kind string) (dir string) {
 	t.Helper()
 	name := filepath.Base(written)
 	file, err := os.ReadFile(written)
@@ -95,14 +95,14 @@
 	if err := os.WriteFile(stored, storedFile(t, name, file), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if now, then := contents(t, written, kind), contents(t, stored, kind); !maps.Equal(now, then) {
+	if now, then := storeContents(t, written, kind), storeContents(t, stored, kind); !maps.Equal(now, then) {
 		t.Errorf("%s: written now: %q\nstored: %q", name, now, then)
 	}
 	return dir
 }
 
 // contents returns all that a store holds by bucket and key, but its identity, which is drawn.
-func contents(t *testing.T, path, kind string) map[string]string {
+func storeContents(t *testing.T, path, kind string) map[string]string {
 	t.Helper()
 	schema := store.Schema{Kind: kind, Migrations: make([]func(*store.Tx) error, 1)}
 	st, err := store.Open(path, schema, store.Options{ReadOnly: true})
@@ -129,7 +129,7 @@
 	return all
 }
 
-func openTestDisk(t *testing.T, dir string) *voterStore {
+func openTestStore(t *testing.T, dir string) *voterStore {
 	t.Helper()
 	d, why, err := openVoterStore(&Options{Dir: dir, InjectFault: func(string) error { return nil }}, func() {})
 	if err != nil || why != "" {
@@ -154,7 +154,7 @@
 	meta := raft.SnapshotMeta{Version: 1, ID: "3-2", Index: 2, Term: 3, Configuration: servers, ConfigurationIndex: 1, Size: int64(len(sealed))}
 
 	written := t.TempDir()
-	d := openTestDisk(t, written)
+	d := openTestStore(t, written)
 	sink, err := d.Create(1, 2, 3, servers, 1, nil)
 	if err == nil {
 		_, err = sink.Write(sealed)
@@ -164,7 +164,7 @@
 		t.Fatal(err)
 	}
 
-	d = openTestDisk(t, storedStore(t, filepath.Join(written, "votes.db"), "fleet-votes"))
+	d = openTestStore(t, assertStoredStore(t, filepath.Join(written, "votes.db"), "fleet-votes"))
 	if d.firstIndex != 1 || d.lastIndex != 4 || !reflect.DeepEqual(raft.DecodeConfiguration(d.entries[1].Data), servers) {
 		t.Errorf("a log from %d to %d, its first %+v", d.firstIndex, d.lastIndex, d.entries[1])
 	}
@@ -188,7 +188,7 @@
 func TestStoredStateFile(t *testing.T) {
 	want, _ := storedState(t)
 	file := func(dir string) *stateFile {
-		r := bare(t, "m1")
+		r := newBareReplica(t, "m1")
 		r.options.Dir, r.options.Genesis, r.options.InjectFault = dir, want.Genesis, func(string) error { return nil }
 		f := &stateFile{replica: r}
 		t.Cleanup(func() {
@@ -204,7 +204,7 @@
 	if err := written.store.Close(); err != nil {
 		t.Fatal(err)
 	}
-	stored := file(storedStore(t, written.path(), "fleet-state"))
+	stored := file(assertStoredStore(t, written.path(), "fleet-state"))
 	if s, err := stored.open(); err != nil || stored.store.QuarantinePath != "" || !reflect.DeepEqual(s, want) {
 		t.Errorf("read as %+v, %v; want %+v", s, err, want)
 	}
@@ -250,7 +250,7 @@
 	}
 	line(plaintextOf(t, func(c *sealedConn) error { return writeMessage(c, msgProposal, text) }))
 	line(plaintextOf(t, func(c *sealedConn) error { return writeMessage(c, msgSequence, binary.BigEndian.AppendUint64(nil, 2)) }))
-	up := bare(t, "up")
+	up := newBareReplica(t, "up")
 	next, _ := up.View().State.Apply(text)
 	up.publisher.publishState(next, text)
 	line(plaintextOf(t, func(c *sealedConn) error { _, err := up.sendEntriesAfter(c, 0); return err }))
@@ -274,7 +274,7 @@
 	if err := (&upstreamClock{lastSequence: 1, acknowledged: true}).readSequence(heard[1]); err != nil {
 		t.Errorf("a number: %v", err)
 	}
-	down := bare(t, "down")
+	down := newBareReplica(t, "down")
 	kind, got, err := readMessage(heard[2], maxEntryMessageSize)
 	if err == nil {
 		err = down.applyEntry(got)
@@ -287,7 +287,7 @@
 // A whole state goes out as its sealed bytes in a message, and is taken.
 func TestStoredStateMessage(t *testing.T) {
 	s, sealed := storedState(t)
-	up, down := bare(t, "up"), bare(t, "down")
+	up, down := newBareReplica(t, "up"), newBareReplica(t, "down")
 	down.options.Genesis = s.Genesis
 	up.publisher.publishState(s, nil)
 	frame := plaintextOf(t, func(c *sealedConn) error { _, err := up.sendEntriesAfter(c, 0); return err })
@@ -306,7 +306,7 @@
 // plaintextOf returns what speak writes to a connection, as its other end reads it.
 func plaintextOf(t *testing.T, speak func(*sealedConn) error) []byte {
 	t.Helper()
-	caller, called := pair(t, "0123456789abcdef", "0123456789abcdef", same)
+	caller, called := connectedPair(t, "0123456789abcdef", "0123456789abcdef", unaltered)
 	defer func() { _ = called.Close() }()
 	failed := make(chan error, 1)
 	go func() { failed <- errors.Join(speak(caller), caller.Close()) }()
