--- a/internal/fleet/zonestatus/alone.go
+++ b/internal/fleet/zonestatus/alone.go
@@ -12,40 +12,40 @@
 type IsolatedController struct {
 	DisabledGuards Guards
 
-	cfg   Config
-	watch *Controller
-	base  State // the record's
-	own   State // and what this member has added
-	last  time.Duration
+	cfg             Config
+	controller      *Controller
+	committed       State // the record's
+	local           State // and what this member has added
+	lastEvaluatedAt time.Duration
 }
 
 // witnesses is how many times Confirm one member waits, as nobody agrees with it.
-const witnesses = 3
+const isolatedConfirmFactor = 3
 
 // NewAlone returns the decider of a member that has seen nothing yet.
 func NewIsolatedController(cfg Config) *IsolatedController {
-	cfg = cfg.full()
-	cfg.ConfirmInterval *= witnesses
+	cfg = cfg.withDefaults()
+	cfg.ConfirmInterval *= isolatedConfirmFactor
 	return &IsolatedController{cfg: cfg}
 }
 
 // Step returns what a node of the member's zone may send others: never more than the
 // state says.
 func (a *IsolatedController) Evaluate(now time.Duration, s State, own Report) []TrafficLimit {
-	if a.watch == nil || s.Version != a.base.Version || now-a.last > a.cfg.ReportTTL || now < a.last {
-		a.watch, a.base, a.own = NewController(a.cfg), s, s
-		a.watch.alone = &a.base
+	if a.controller == nil || s.Version != a.committed.Version || now-a.lastEvaluatedAt > a.cfg.ReportTTL || now < a.lastEvaluatedAt {
+		a.controller, a.committed, a.local = NewController(a.cfg), s, s
+		a.controller.committed = &a.committed
 	}
-	a.last = now
-	a.watch.DisabledGuards = a.DisabledGuards
-	c, _, ok := a.watch.Evaluate(now, a.own, []Report{own}, []Member{{Name: own.Member, Zone: own.Zone, Alive: true}})
+	a.lastEvaluatedAt = now
+	a.controller.DisabledGuards = a.DisabledGuards
+	c, _, ok := a.controller.Evaluate(now, a.local, []Report{own}, []Member{{Name: own.Member, Zone: own.Zone, Alive: true}})
 	if ok {
-		if next, err := a.own.Apply(a.cfg, c); err == nil {
-			a.own = next
+		if next, err := a.local.Apply(a.cfg, c); err == nil {
+			a.local = next
 		}
 	}
 	all := s.TrafficLimits(own.Zone)
-	for _, b := range a.own.TrafficLimits(own.Zone) {
+	for _, b := range a.local.TrafficLimits(own.Zone) {
 		i := slices.IndexFunc(all, func(o TrafficLimit) bool { return o.Zone == b.Zone })
 		switch {
 		case i < 0:
@@ -54,13 +54,13 @@
 			all[i] = b
 		}
 	}
-	slices.SortFunc(all, func(x, y TrafficLimit) int { return order(PairStatus{From: x.Zone}, PairStatus{From: y.Zone}) })
+	slices.SortFunc(all, func(x, y TrafficLimit) int { return comparePairs(PairStatus{From: x.Zone}, PairStatus{From: y.Zone}) })
 	return all
 }
 
 // oneUnit keeps, of what a member alone would leave, one zone or region that the record
 // has not left, or none if it has one already.
-func (w *Controller) oneUnit(v *view, d *draft, from int, accused []int) []int {
+func (w *Controller) limitToOneUnit(v *fleetView, d *changeDraft, from int, accused []int) []int {
 	unit := func(z string) string {
 		if r := w.cfg.RegionOf(z); r != "" {
 			return "region " + r
@@ -69,14 +69,14 @@
 	}
 	own, has := v.zones[from], ""
 	for _, r := range d.base.Pairs {
-		word := w.alone.seen(own, r.To).Status
-		if r.From == own && !word.gone() && (r.Status.gone() || r.Status == Recovering && word != Recovering) {
+		word := w.committed.pair(own, r.To).Status
+		if r.From == own && !word.isEvacuated() && (r.Status.isEvacuated() || r.Status == Recovering && word != Recovering) {
 			has = unit(r.To)
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(accused), func(to int) bool {
 		z := v.zones[to]
-		if to == from || w.alone.seen(own, z).Status.gone() {
+		if to == from || w.committed.pair(own, z).Status.isEvacuated() {
 			return true
 		}
 		if has == "" {
--- a/internal/fleet/zonestatus/carry.go
+++ b/internal/fleet/zonestatus/carry.go
@@ -7,23 +7,23 @@
 
 // twentieth and quarter are how coarse shares are told: small changes of what is seen
 // change nothing that is said.
-const twentieth, quarter = 20, 4
+const shedSteps, shareSteps = 20, 4
 
 // bears is what a zone's servers can do, in servers of full warmth: the cold ones for
 // what they can do as they start, the failed ones for nothing.
-func (v *view) bears(to int) float64 {
-	st := &v.stocks[to]
-	return v.cfg.MaxUtilization * (1 - st.bad) * (st.servers - st.cold + st.cold*v.cfg.ColdCapacityFraction)
+func (v *fleetView) capacity(to int) float64 {
+	st := &v.stats[to]
+	return v.cfg.MaxUtilization * (1 - st.failing) * (st.endpoints - st.warmingUp + st.warmingUp*v.cfg.ColdCapacityFraction)
 }
 
 // work is what a zone's servers do, in full servers. Nobody may know the load of one that
 // answers nobody: it had the mean of the others. ok is false if no load is known at all.
-func (v *view) work(to int) (work float64, ok bool) {
-	load, n := v.stocks[to].load, 0
+func (v *fleetView) usedCapacity(to int) (work float64, ok bool) {
+	load, n := v.stats[to].load, 0
 	if load < 0 {
 		load = 0
-		for i := range v.stocks {
-			if l := v.stocks[i].load; l >= 0 {
+		for i := range v.stats {
+			if l := v.stats[i].load; l >= 0 {
 				load += l
 				n++
 			}
@@ -33,126 +33,126 @@
 		}
 		load /= float64(n)
 	}
-	return load * v.stocks[to].servers, true
+	return load * v.stats[to].endpoints, true
 }
 
 // weigh reckons each zone's part of all set-ups: that of its members.
-func (v *view) weigh() {
+func (v *fleetView) computeMemberFractions() {
 	all := 0
-	for _, n := range v.alive {
+	for _, n := range v.aliveMembers {
 		all += n
 	}
-	v.part = make([]float64, len(v.alive))
-	for i, n := range v.alive {
-		v.part[i] = float64(n) / float64(max(all, 1))
+	v.memberFractions = make([]float64, len(v.aliveMembers))
+	for i, n := range v.aliveMembers {
+		v.memberFractions[i] = float64(n) / float64(max(all, 1))
 	}
 }
 
 // room is what the zones that stay can take on more, but for one; rows say who stays for
 // whom.
-func (v *view) room(rows []PairStatus, but int) (room float64) {
+func (v *fleetView) spareCapacity(rows []PairStatus, but int) (room float64) {
 	for to, z := range v.zones {
-		work, ok := v.work(to)
+		work, ok := v.usedCapacity(to)
 		if to == but || !ok {
 			continue
 		}
 		stays := 1.0
 		for _, r := range rows {
-			if from, ok := slices.BinarySearch(v.zones, r.From); ok && r.To == z && (r.Status.gone() || r.Status == Recovering) {
-				stays -= v.part[from] * (1 - r.Share)
+			if from, ok := slices.BinarySearch(v.zones, r.From); ok && r.To == z && (r.Status.isEvacuated() || r.Status == Recovering) {
+				stays -= v.memberFractions[from] * (1 - r.Share)
 			}
 		}
-		room += max(0, stays) * max(0, v.bears(to)-work)
+		room += max(0, stays) * max(0, v.capacity(to)-work)
 	}
 	return room
 }
 
 // carry reckons, for what is left now, what those who stay can't take on: it is refused at
 // once. A zone that serves nobody is left all the same, as nothing is lost by that.
-func (w *Controller) carry(v *view, d *draft) {
+func (w *Controller) computeShed(v *fleetView, d *changeDraft) {
 	moved, total := 0.0, 0.0
 	for to := range v.zones {
-		work, _ := v.work(to)
+		work, _ := v.usedCapacity(to)
 		for from := range v.zones {
-			was, is := d.base.seen(v.zones[from], v.zones[to]), d.seen(v.zones[from], v.zones[to])
-			if was.Status.gone() {
+			was, is := d.base.pair(v.zones[from], v.zones[to]), d.pair(v.zones[from], v.zones[to])
+			if was.Status.isEvacuated() {
 				continue // those who stay do its work already
 			}
-			total += v.part[from] * work
-			if is.Status.gone() {
-				moved += v.part[from] * work * was.Share
+			total += v.memberFractions[from] * work
+			if is.Status.isEvacuated() {
+				moved += v.memberFractions[from] * work * was.Share
 			}
 		}
 	}
 	if moved == 0 || w.DisabledGuards.PanicThreshold {
 		return
 	}
-	if over := (moved - v.room(d.after(), -1)) / total; over > 0 {
-		over = 1 - (1-d.over)*(1-over) // of what is not refused already
-		d.over = min(mostOver, math.Ceil(over*twentieth-1e-9)/twentieth)
+	if over := (moved - v.spareCapacity(d.resultingPairs(), -1)) / total; over > 0 {
+		over = 1 - (1-d.shed)*(1-over) // of what is not refused already
+		d.shed = min(maxShed, math.Ceil(over*shedSteps-1e-9)/shedSteps)
 	}
 }
 
 // ease takes back what is refused as those who stay have room again, a tenth at a time,
 // and adds to it while they are over full.
-func (w *Controller) ease(v *view, d *draft) {
-	if d.base.Shed == 0 || d.over != d.base.Shed || !d.may {
+func (w *Controller) relaxShed(v *fleetView, d *changeDraft) {
+	if d.base.Shed == 0 || d.shed != d.base.Shed || !d.deferrableAllowed {
 		return
 	}
 	stay, n, left := 0.0, 0, false
 	for to, z := range v.zones {
 		gone := false
 		for from := range v.zones {
-			gone = gone || d.seen(v.zones[from], z).Status.gone()
+			gone = gone || d.pair(v.zones[from], z).Status.isEvacuated()
 		}
-		if left = left || gone; !gone && v.stocks[to].load >= 0 {
-			stay += v.stocks[to].load
+		if left = left || gone; !gone && v.stats[to].load >= 0 {
+			stay += v.stats[to].load
 			n++
 		}
 	}
-	next := d.over
+	next := d.shed
 	switch {
 	case !left:
 		next = 0
-	case n == 0 || d.now-w.overAt < w.cfg.MinChangeInterval:
+	case n == 0 || d.now-w.shedChangedAt < w.cfg.MinChangeInterval:
 	case stay/float64(n) < w.cfg.MaxUtilization-0.1:
-		next = max(0, math.Round((d.over-0.1)*twentieth)/twentieth)
+		next = max(0, math.Round((d.shed-0.1)*shedSteps)/shedSteps)
 	case stay/float64(n) > w.cfg.MaxUtilization+0.15:
-		next = min(mostOver, math.Round((d.over+0.05)*twentieth)/twentieth)
+		next = min(maxShed, math.Round((d.shed+0.05)*shedSteps)/shedSteps)
 	}
-	if next != d.over {
-		d.over = next
-		d.why = append(d.why, "what is refused follows the room of those who stay")
+	if next != d.shed {
+		d.shed = next
+		d.reasons = append(d.reasons, "what is refused follows the room of those who stay")
 	}
 }
 
 // part bounds the share of a zone of which a part fails to about its sound part, in
 // quarters, but never so far that the others could not carry the rest.
-func (w *Controller) part(v *view, d *draft) {
-	rows := d.after()
+func (w *Controller) limitPartialFailures(v *fleetView, d *changeDraft) {
+	rows := d.resultingPairs()
 	for to, z := range v.zones {
 		least, reckoned := 0.0, false
 		var less, more []string
 		for from, a := range v.zones {
-			p, row := v.pair(from, to), d.base.seen(a, z)
-			if row.Status != Active && row.Status != Suspect || d.seen(a, z) != row {
+			p, row := v.pair(from, to), d.base.pair(a, z)
+			if row.Status != Active && row.Status != Suspect || d.pair(a, z) != row {
 				continue
 			}
-			want := coarse(1 - p.bad)
-			if p.known && !p.lost && want < 1 && !w.DisabledGuards.PanicThreshold {
+			want := quantizeShare(1 - p.failing)
+			if p.known && !p.unavailable && want < 1 && !w.DisabledGuards.PanicThreshold {
 				if !reckoned {
-					least, reckoned = w.least(v, rows, to), true
+					least, reckoned = w.minShare(v, rows, to), true
 				}
 				want = max(want, least)
 			}
-			told := p.known && !p.lost
-			shrink := w.held(d.now, a, z, '-', told && want < row.Share) >= w.cfg.ConfirmInterval
-			grow := w.held(d.now, a, z, '+', told && want > row.Share) >= w.cfg.StableInterval
-			if !(shrink || grow) || row.ChangedAt > 0 && d.age(row.ChangedAt) < w.cfg.MinChangeInterval {
+			told := p.known && !p.unavailable
+			shrink := w.heldFor(d.now, a, z, '-', told && want < row.Share) >= w.cfg.ConfirmInterval
+			grow := w.heldFor(d.now, a, z, '+', told && want > row.Share) >= w.cfg.StableInterval
+			if !(shrink || grow) || row.ChangedAt > 0 && d.elapsedSince(row.ChangedAt) < w.cfg.MinChangeInterval {
 				continue
 			}
 			row.Share = want
-			if !d.put(row) {
+			if !d.set(row) {
 				continue
 			}
 			if shrink {
@@ -161,21 +161,21 @@
 				more = append(more, a)
 			}
 		}
-		d.say(z, "fails in part: less", less)
-		d.say(z, "serves more again", more)
+		d.addReason(z, "fails in part: less", less)
+		d.addReason(z, "serves more again", more)
 	}
 }
 
 // least is the share of a zone's work that the others can't carry.
-func (w *Controller) least(v *view, rows []PairStatus, to int) float64 {
-	work, ok := v.work(to)
+func (w *Controller) minShare(v *fleetView, rows []PairStatus, to int) float64 {
+	work, ok := v.usedCapacity(to)
 	if !ok || work == 0 {
 		return 0
 	}
-	return min(1, math.Ceil((1-v.room(rows, to)/work)*quarter-1e-9)/quarter)
+	return min(1, math.Ceil((1-v.spareCapacity(rows, to)/work)*shareSteps-1e-9)/shareSteps)
 }
 
 // coarse rounds to quarters: what is sound at all keeps one.
-func coarse(sound float64) float64 {
-	return max(1, math.Round(sound*quarter)) / quarter
+func quantizeShare(sound float64) float64 {
+	return max(1, math.Round(sound*shareSteps)) / shareSteps
 }
--- a/internal/fleet/zonestatus/config.go
+++ b/internal/fleet/zonestatus/config.go
@@ -37,10 +37,10 @@
 }
 
 // Default returns the figures that docs/notes/zones.md derives.
-func DefaultConfig() Config { return Config{}.full() }
+func DefaultConfig() Config { return Config{}.withDefaults() }
 
 // full puts defaults in the place of zeros.
-func (c Config) full() Config {
+func (c Config) withDefaults() Config {
 	c.ReportTTL = cmp.Or(c.ReportTTL, time.Second)
 	c.MaxClockSkew = cmp.Or(c.MaxClockSkew, 200*time.Millisecond)
 	c.ConfirmInterval = cmp.Or(c.ConfirmInterval, 200*time.Millisecond)
@@ -65,13 +65,13 @@
 }
 
 // mostZones bounds what the record and the decider keep, mostSteps a return.
-const mostZones, mostSteps = 64, 16
+const maxZones, maxRampSteps = 64, 16
 
 // Check names the first key that can't be worked with.
 func (c Config) Validate() error {
-	c = c.full()
+	c = c.withDefaults()
 	bad := func(key, why string) error { return fmt.Errorf("fleet.zones.%s: %s", key, why) }
-	if err := c.named(bad); err != nil {
+	if err := c.validateNames(bad); err != nil {
 		return err
 	}
 	for _, t := range []struct {
@@ -100,8 +100,8 @@
 			return bad(t.key, fmt.Sprintf("%v is outside %v to %v", t.is, t.least, t.most))
 		}
 	}
-	if len(c.RampSteps) > mostSteps {
-		return bad("steps", fmt.Sprintf("%d of them, at most %d are taken", len(c.RampSteps), mostSteps))
+	if len(c.RampSteps) > maxRampSteps {
+		return bad("steps", fmt.Sprintf("%d of them, at most %d are taken", len(c.RampSteps), maxRampSteps))
 	}
 	for i, share := range c.RampSteps {
 		if !(share > 0 && share <= 1) || i > 0 && share <= c.RampSteps[i-1] {
@@ -112,12 +112,12 @@
 }
 
 // named checks the names of zones and regions.
-func (c Config) named(bad func(key, why string) error) error {
-	if len(c.Zones) > mostZones {
-		return bad("zones", fmt.Sprintf("%d of them, at most %d are taken", len(c.Zones), mostZones))
+func (c Config) validateNames(bad func(key, why string) error) error {
+	if len(c.Zones) > maxZones {
+		return bad("zones", fmt.Sprintf("%d of them, at most %d are taken", len(c.Zones), maxZones))
 	}
 	for i, z := range c.Zones {
-		if !isName(z) {
+		if !isValidName(z) {
 			return bad("zones", fmt.Sprintf("%.80q is no name", z))
 		}
 		if slices.Contains(c.Zones[:i], z) {
@@ -125,14 +125,14 @@
 		}
 	}
 	in := map[string]string{}
-	for _, region := range c.regions() {
+	for _, region := range c.regionNames() {
 		key := "regions." + region
-		if !isName(region) || len(c.Regions[region]) == 0 {
+		if !isValidName(region) || len(c.Regions[region]) == 0 {
 			return bad(key, "a region has a name and a zone at least")
 		}
 		for _, z := range c.Regions[region] {
 			switch other, twice := in[z]; {
-			case !isName(z):
+			case !isValidName(z):
 				return bad(key, fmt.Sprintf("%.80q is no zone's name", z))
 			case twice:
 				return bad(key, fmt.Sprintf("zone %q is in %q already", z, other))
@@ -145,14 +145,14 @@
 	return nil
 }
 
-func isName(s string) bool { return s != "" && len(s) <= 64 }
+func isValidName(s string) bool { return s != "" && len(s) <= 64 }
 
 // regions are the regions' names in order.
-func (c Config) regions() []string { return slices.Sorted(maps.Keys(c.Regions)) }
+func (c Config) regionNames() []string { return slices.Sorted(maps.Keys(c.Regions)) }
 
 // RegionOf returns the region that a zone belongs to, or "".
 func (c Config) RegionOf(zone string) string {
-	for _, region := range c.regions() {
+	for _, region := range c.regionNames() {
 		if slices.Contains(c.Regions[region], zone) {
 			return region
 		}
@@ -161,14 +161,14 @@
 }
 
 // most is how many of n zones one viewpoint may leave, and never all.
-func (c Config) most(n int) int {
+func (c Config) maxEvacuatedZones(n int) int {
 	return min(max(1, int(math.Floor(c.MaxEvacuatedFraction*float64(n)+1e-9))), n-1)
 }
 
 // hold is how long a zone that has failed so often stays held; the first time it is not.
-func (c Config) hold(fails int) time.Duration {
-	if fails < 2 {
+func (c Config) holdInterval(failures int) time.Duration {
+	if failures < 2 {
 		return 0
 	}
-	return time.Duration(min(float64(c.MaxHoldInterval), float64(c.BaseHoldInterval)*math.Pow(2, float64(min(fails, 60)-2))))
+	return time.Duration(min(float64(c.MaxHoldInterval), float64(c.BaseHoldInterval)*math.Pow(2, float64(min(failures, 60)-2))))
 }
--- a/internal/fleet/zonestatus/judge.go
+++ b/internal/fleet/zonestatus/judge.go
@@ -14,18 +14,18 @@
 // settle turns a pair's counts into what is known. A zone is lost if as many members as it
 // takes, and half of those who asked enough, were served nothing: one false member is
 // never enough, and of many it takes half.
-func (p *pair) settle(quorum int) {
-	p.told, p.heard = len(p.bads), len(p.dims)
-	p.known = p.told >= quorum
-	p.bad, p.faint = median(p.bads, 0), median(p.dims, 0)
-	p.lost = p.accused >= quorum && (2*p.accused >= p.told || quorum < accusers)
-	if p.heard < quorum {
-		p.heard = 0
+func (p *pairEvidence) summarize(quorum int) {
+	p.reporters, p.receivers = len(p.failingReported), len(p.failingSeen)
+	p.known = p.reporters >= quorum
+	p.failing, p.failingUnconfirmed = median(p.failingReported, 0), median(p.failingSeen, 0)
+	p.unavailable = p.unavailableReports >= quorum && (2*p.unavailableReports >= p.reporters || quorum < minReporters)
+	if p.receivers < quorum {
+		p.receivers = 0
 	}
 }
 
 // stock takes the medians of what there is in each zone.
-func (v *view) stock(at map[string]int, heard []*Report) {
+func (v *fleetView) collectStats(at map[string]int, heard []*Report) {
 	n := len(v.zones)
 	all := make([][4][]float64, n)
 	for i := range all {
@@ -45,43 +45,43 @@
 			if s.Load >= 0 {
 				all[to][2] = append(all[to][2], s.Load)
 			}
-			all[to][3] = append(all[to][3], s.share())
+			all[to][3] = append(all[to][3], s.failingFraction())
 		}
 	}
-	v.stocks = make([]stock, n)
+	v.stats = make([]zoneStats, n)
 	for i := range all {
-		v.stocks[i] = stock{median(all[i][0], 0), median(all[i][1], 0), median(all[i][2], -1), median(all[i][3], 0)}
+		v.stats[i] = zoneStats{median(all[i][0], 0), median(all[i][1], 0), median(all[i][2], -1), median(all[i][3], 0)}
 	}
 }
 
 // judge weighs the pairs against one another: who is cut off himself accuses nobody, and a
 // region most of whose servers are lost is lost.
-func (v *view) judge(wide []bool) {
+func (v *fleetView) crossCheck(wide []bool) {
 	n := len(v.zones)
-	first := make([]pair, len(v.pairs))
+	first := make([]pairEvidence, len(v.pairs))
 	copy(first, v.pairs)
 	for from, w := range wide {
 		for to := range n {
-			if p := v.pair(from, to); w && (p.lost || p.bad > back/2) && !agreed(first, n, from, to) {
-				*p = pair{}
+			if p := v.pair(from, to); w && (p.unavailable || p.failing > maxFailingForRecovery/2) && !othersAgree(first, n, from, to) {
+				*p = pairEvidence{}
 			}
 		}
 	}
 	if v.guards.ObservingZone {
-		v.alike()
+		v.shareWorstView()
 	}
 	for from := range n {
-		v.dragged(from)
+		v.extendToRegion(from)
 	}
 }
 
 // agreed tells whether most other zones that know a zone hold it for lost too. Two dead
 // zones of three are seen so by all; who is cut off is alone with what he sees.
-func agreed(pairs []pair, n, from, to int) bool {
+func othersAgree(pairs []pairEvidence, n, from, to int) bool {
 	known, lost := 0, 0
 	for other := range n {
 		if p := &pairs[other*n+to]; other != from && p.known {
-			if known++; p.lost {
+			if known++; p.unavailable {
 				lost++
 			}
 		}
@@ -90,37 +90,37 @@
 }
 
 // alike gives all zones the worst that one sees.
-func (v *view) alike() {
+func (v *fleetView) shareWorstView() {
 	for to := range v.zones {
 		any := false
 		for from := range v.zones {
-			any = any || v.pair(from, to).lost
+			any = any || v.pair(from, to).unavailable
 		}
 		for from := range v.zones {
-			v.pair(from, to).lost = any
+			v.pair(from, to).unavailable = any
 		}
 	}
 }
 
 // dragged holds the rest of a region for lost too once most of its servers are. A zone's
 // own part of it stays.
-func (v *view) dragged(from int) {
-	for _, region := range v.cfg.regions() {
+func (v *fleetView) extendToRegion(from int) {
+	for _, region := range v.cfg.regionNames() {
 		all, lost := 0.0, 0.0
-		for to, r := range v.region {
+		for to, r := range v.regions {
 			if r == region {
-				all += v.stocks[to].servers
-				if v.pair(from, to).lost {
-					lost += v.stocks[to].servers
+				all += v.stats[to].endpoints
+				if v.pair(from, to).unavailable {
+					lost += v.stats[to].endpoints
 				}
 			}
 		}
 		if 2*lost <= all {
 			continue
 		}
-		for to, r := range v.region {
+		for to, r := range v.regions {
 			if r == region && to != from {
-				v.pair(from, to).lost = true
+				v.pair(from, to).unavailable = true
 			}
 		}
 	}
@@ -128,19 +128,21 @@
 
 // followed tells whether a zone fails for everybody who can tell, and for so many that
 // those who can't tell leave it with the others.
-func (v *view) followed(to int) bool {
+func (v *fleetView) failsForMost(to int) bool {
 	known, lost := 0, 0
 	for from := range v.zones {
-		if p := v.pair(from, to); p.lost {
+		if p := v.pair(from, to); p.unavailable {
 			known++
 			lost++
 		} else if p.known {
 			known++
 		}
 	}
-	return lost >= accusers && 4*lost >= 3*known
+	return lost >= minReporters && 4*lost >= 3*known
 }
 
 // answers tells whether a zone seems to serve again: members know of servers there, and no
 // more than some fail.
-func (p *pair) answers() bool { return p.heard > 0 && !p.lost && p.faint <= back }
+func (p *pairEvidence) seemsRecovered() bool {
+	return p.receivers > 0 && !p.unavailable && p.failingUnconfirmed <= maxFailingForRecovery
+}
--- a/internal/fleet/zonestatus/rules.go
+++ b/internal/fleet/zonestatus/rules.go
@@ -8,7 +8,7 @@
 )
 
 // after names the postures that may follow each.
-var after = [...][]Status{
+var allowedTransitions = [...][]Status{
 	Active:     {Active, Suspect, Evacuating},
 	Suspect:    {Active, Suspect, Evacuating},
 	Evacuating: {Evacuated, HeldBack},
@@ -18,14 +18,14 @@
 }
 
 // follows tells why one row can't take another's place.
-func follows(cfg Config, old, n PairStatus) error {
+func checkTransition(cfg Config, old, n PairStatus) error {
 	if n.Status < Active || n.Status > HeldBack {
 		return fmt.Errorf("%v is not known", n.Status)
 	}
-	if !slices.Contains(after[old.Status], n.Status) {
+	if !slices.Contains(allowedTransitions[old.Status], n.Status) {
 		return fmt.Errorf("%v can't follow %v", n.Status, old.Status)
 	}
-	if err := shaped(cfg, n); err != nil {
+	if err := checkPair(cfg, n); err != nil {
 		return err
 	}
 	switch n.Status {
@@ -53,13 +53,13 @@
 }
 
 // shaped checks a row by itself: each figure has its place in some postures only.
-func shaped(cfg Config, n PairStatus) error {
+func checkPair(cfg Config, n PairStatus) error {
 	switch {
 	case !(n.Share >= 0 && n.Share <= 1):
 		return fmt.Errorf("share %v is outside 0 to 1", n.Share)
-	case n.Status.gone() && n.Share != 0:
+	case n.Status.isEvacuated() && n.Share != 0:
 		return fmt.Errorf("share %v, but it is %v", n.Share, n.Status)
-	case !n.Status.gone() && n.Share == 0:
+	case !n.Status.isEvacuated() && n.Share == 0:
 		return fmt.Errorf("share 0, but it is %v", n.Status)
 	case n.Status != Recovering && (n.Step != 0 || n.Rate != 0):
 		return fmt.Errorf("a step or a rate, but it is %v", n.Status)
@@ -67,9 +67,9 @@
 		return fmt.Errorf("step %d of %d", n.Step, len(cfg.RampSteps))
 	case n.Status == Recovering && n.Share > cfg.RampSteps[n.Step-1]:
 		return fmt.Errorf("share %v is more than step %d allows", n.Share, n.Step)
-	case n.Status == Recovering && !(n.Rate > 0 && n.Rate <= mostRate):
-		return fmt.Errorf("rate %v is outside 0 to %v", n.Rate, float64(mostRate))
-	case n.ChangedAt < 0 || n.Failures < 0 || n.Failures > mostFails:
+	case n.Status == Recovering && !(n.Rate > 0 && n.Rate <= maxRecoveryRate):
+		return fmt.Errorf("rate %v is outside 0 to %v", n.Rate, float64(maxRecoveryRate))
+	case n.ChangedAt < 0 || n.Failures < 0 || n.Failures > maxFailures:
 		return errors.New("since or fails is out of range")
 	case n.Status != HeldBack && n.HeldUntil != 0:
 		return fmt.Errorf("until, but it is %v", n.Status)
--- a/internal/fleet/zonestatus/state_test.go
+++ b/internal/fleet/zonestatus/state_test.go
@@ -10,7 +10,7 @@
 
 // What the record takes, and why it does not take the rest. It is the same for whoever
 // applies it, so a false leader can do no more than this allows.
-func TestApply(t *testing.T) {
+func TestApplyAcceptsAndRejectsChanges(t *testing.T) {
 	cfg := Config{Zones: []string{"a", "b", "c", "d"}}
 	zones := cfg.Zones
 	base := State{Version: 7, Zones: zones, Pairs: []PairStatus{
@@ -68,7 +68,7 @@
 	}
 }
 
-func TestCheck(t *testing.T) {
+func TestValidateNamesInvalidKey(t *testing.T) {
 	for key, c := range map[string]Config{
 		"":                           {},
 		"fleet.zones.fresh":          {ReportTTL: time.Millisecond},
@@ -91,7 +91,7 @@
 
 // A member that hears nobody adds one zone to what the record says, never its own, and
 // nothing while it reaches hardly anybody; it comes back by steps, or when it hears.
-func TestAlone(t *testing.T) {
+func TestIsolatedControllerEvacuatesOneZone(t *testing.T) {
 	record := State{Version: 3, Zones: []string{"a", "b", "c", "d", "e"}, Pairs: []PairStatus{{From: "a", To: "b", Status: Evacuated, Failures: 1}}}
 	for _, tt := range []struct {
 		name   string
@@ -106,16 +106,16 @@
 		{"hardly anybody", Guards{}, "bcde", "b"},
 		{"hardly anybody, believed", Guards{ReporterConnectivity: true}, "bcde", "bc"},
 	} {
-		w := newWorld(t, 5, 1)
+		w := newTestFleet(t, 5, 1)
 		w.state = record
-		w.bad = func(_, to string, _ int) float64 { return one(strings.Contains(tt.lost, to)) }
+		w.failing = func(_, to string, _ int) float64 { return indicator(strings.Contains(tt.lost, to)) }
 		alone := NewIsolatedController(w.cfg)
 		alone.DisabledGuards = tt.guards
 		left := func(d time.Duration, s State) (names string) {
 			var all []TrafficLimit
 			for end := w.now + d; w.now < end; {
 				w.now += 100 * time.Millisecond
-				all = alone.Evaluate(w.now, s, w.word(Member{Name: "a0", Zone: "a"}))
+				all = alone.Evaluate(w.now, s, w.report(Member{Name: "a0", Zone: "a"}))
 			}
 			for _, b := range all {
 				if b.Share == 0 {
@@ -132,7 +132,7 @@
 		if got := left(100*time.Millisecond, heard); got != "b" {
 			t.Errorf("%s: left %s once it hears", tt.name, got)
 		}
-		w.bad = func(string, string, int) float64 { return 0 }
+		w.failing = func(string, string, int) float64 { return 0 }
 		if got := left(30*time.Second, record); got != "b" {
 			t.Errorf("%s: left %s after all is well", tt.name, got)
 		}
