--- a/internal/instancelock/beside.go
+++ b/internal/instancelock/beside.go
@@ -17,9 +17,9 @@
 
 const (
 	// places are the processes that may live at once.
-	places = 2
+	slotCount = 2
 	// again is the pause between two looks for a free place.
-	again = 20 * time.Millisecond
+	retryInterval = 20 * time.Millisecond
 )
 
 // ErrFull is told where two processes live already.
@@ -31,7 +31,7 @@
 type Lock struct {
 	file     *os.File
 	baseName string
-	mine     int64
+	slot     int64
 }
 
 // Take takes a place of the node that listens at an address, in dir, and waits for one
@@ -48,91 +48,91 @@
 		return nil, fmt.Errorf("beside: %s is no file of this user's", path)
 	}
 	for {
-		for i := range int64(places) {
-			if unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, slotRange(unix.F_WRLCK, i)) == nil {
-				p := &Lock{file: file, baseName: name, mine: i}
-				p.use(0)
-				return p, nil
+		for slot := range int64(slotCount) {
+			if unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, lockRange(unix.F_WRLCK, slot)) == nil {
+				lock := &Lock{file: file, baseName: name, slot: slot}
+				lock.writeSocketCount(0)
+				return lock, nil
 			}
 		}
 		if !time.Now().Before(deadline) {
 			_ = file.Close()
 			return nil, fmt.Errorf("beside: %s: %w", path, ErrNoFreeSlot)
 		}
-		time.Sleep(again)
+		time.Sleep(retryInterval)
 	}
 }
 
 // lock names one byte: the first ones stand for the places, those behind them for the
 // places whose processes take clients.
-func slotRange(kind int16, place int64) *unix.Flock_t {
-	return &unix.Flock_t{Type: kind, Start: place, Len: 1}
+func lockRange(kind int16, start int64) *unix.Flock_t {
+	return &unix.Flock_t{Type: kind, Start: start, Len: 1}
 }
 
 // at is where a place's count stands, behind all the bytes that are locked.
-func at(place int64) int64 { return 8 * (1 + place) }
+func socketCountOffset(slot int64) int64 { return 8 * (1 + slot) }
 
-func (p *Lock) use(sockets int) {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(sockets))
-	_, _ = p.file.WriteAt(b[:], at(p.mine)) // a full disk must not end the node
+func (l *Lock) writeSocketCount(sockets int) {
+	var count [8]byte
+	binary.LittleEndian.PutUint64(count[:], uint64(sockets))
+	_, _ = l.file.WriteAt(count[:], socketCountOffset(l.slot)) // a full disk must not end the node
 }
 
 // Mine names this process in the folder, and Other the process beside it.
-func (p *Lock) Name() string        { return fmt.Sprintf("%s.%d", p.baseName, p.mine) }
-func (p *Lock) SiblingName() string { return fmt.Sprintf("%s.%d", p.baseName, 1-p.mine) }
+func (l *Lock) Name() string        { return fmt.Sprintf("%s.%d", l.baseName, l.slot) }
+func (l *Lock) SiblingName() string { return fmt.Sprintf("%s.%d", l.baseName, 1-l.slot) }
 
 // Lives tells whether the other process does.
-func (p *Lock) IsSiblingAlive() bool {
-	if p == nil {
+func (l *Lock) IsSiblingAlive() bool {
+	if l == nil {
 		return false
 	}
-	return p.held(1 - p.mine)
+	return l.isLockedByOther(1 - l.slot)
 }
 
 // held tells whether another process holds the lock on a byte.
-func (p *Lock) held(at int64) bool {
-	l := slotRange(unix.F_WRLCK, at)
-	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, l) == nil && l.Type != unix.F_UNLCK
+func (l *Lock) isLockedByOther(start int64) bool {
+	query := lockRange(unix.F_WRLCK, start)
+	return unix.FcntlFlock(l.file.Fd(), unix.F_OFD_GETLK, query) == nil && query.Type != unix.F_UNLCK
 }
 
 // Serves tells the other process whether this one takes clients, for as long as it lives.
 // A process that leaves tells so before it asks Succeeded: then of two that leave at once
 // one at least learns it of the other, and the clients are never left to nobody.
-func (p *Lock) SetServing(yes bool) {
-	if p == nil {
+func (l *Lock) SetServing(serving bool) {
+	if l == nil {
 		return
 	}
 	kind := int16(unix.F_UNLCK)
-	if yes {
+	if serving {
 		kind = unix.F_WRLCK
 	}
-	_ = unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, slotRange(kind, places+p.mine)) // nobody else asks for it
+	_ = unix.FcntlFlock(l.file.Fd(), unix.F_OFD_SETLK, lockRange(kind, slotCount+l.slot)) // nobody else asks for it
 }
 
 // Succeeded tells whether the other process takes clients, so that this one need not.
-func (p *Lock) IsSiblingServing() bool { return p != nil && p.held(places+1-p.mine) }
+func (l *Lock) IsSiblingServing() bool { return l != nil && l.isLockedByOther(slotCount+1-l.slot) }
 
 // Share tells how many sockets this process uses, and returns how many the other
 // does, if it lives.
-func (p *Lock) ExchangeSocketCounts(mine int) (other int, lives bool) {
-	if p == nil {
+func (l *Lock) ExchangeSocketCounts(own int) (sibling int, alive bool) {
+	if l == nil {
 		return 0, false
 	}
-	p.use(mine)
-	var b [8]byte
-	if !p.IsSiblingAlive() {
+	l.writeSocketCount(own)
+	var count [8]byte
+	if !l.IsSiblingAlive() {
 		return 0, false
 	}
-	if _, err := p.file.ReadAt(b[:], at(1-p.mine)); err != nil {
+	if _, err := l.file.ReadAt(count[:], socketCountOffset(1-l.slot)); err != nil {
 		return 0, true
 	}
-	return int(min(binary.LittleEndian.Uint64(b[:]), 1<<20)), true // whatever stands there, it is no larger
+	return int(min(binary.LittleEndian.Uint64(count[:]), 1<<20)), true // whatever stands there, it is no larger
 }
 
 // Close gives the place up.
-func (p *Lock) Close() {
-	if p != nil {
-		_ = p.file.Close()
+func (l *Lock) Close() {
+	if l != nil {
+		_ = l.file.Close()
 	}
 }
--- a/internal/instancelock/beside_test.go
+++ b/internal/instancelock/beside_test.go
@@ -8,86 +8,86 @@
 	"time"
 )
 
-func take(t *testing.T, dir string) *Lock {
+func acquire(t *testing.T, dir string) *Lock {
 	t.Helper()
-	p, err := Acquire(dir, "[::1]:7070", time.Time{})
+	lock, err := Acquire(dir, "[::1]:7070", time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(p.Close)
-	return p
+	t.Cleanup(lock.Close)
+	return lock
 }
 
-func shared(p *Lock, mine int) int {
-	n, _ := p.ExchangeSocketCounts(mine)
+func siblingSockets(lock *Lock, own int) int {
+	n, _ := lock.ExchangeSocketCounts(own)
 	return n
 }
 
 // Two processes learn of each other and of each other's sockets, and of an end at
 // once; whatever a file of before says counts for nothing.
-func TestPlaces(t *testing.T) {
-	for name, left := range map[string]string{"no file": "", "garbage": "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff" +
+func TestProcessesDetectEachOther(t *testing.T) {
+	for name, previous := range map[string]string{"no file": "", "garbage": "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff" +
 		"\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"} {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
-			if left != "" {
-				if err := os.WriteFile(filepath.Join(dir, "coralrelay---1-7070"), []byte(left), 0o600); err != nil {
+			if previous != "" {
+				if err := os.WriteFile(filepath.Join(dir, "coralrelay---1-7070"), []byte(previous), 0o600); err != nil {
 					t.Fatal(err)
 				}
 			}
-			old := take(t, dir)
-			if old.IsSiblingAlive() || shared(old, 100) != 0 {
+			first := acquire(t, dir)
+			if first.IsSiblingAlive() || siblingSockets(first, 100) != 0 {
 				t.Error("a process alone sees another")
 			}
-			next := take(t, dir)
-			if there := shared(next, 7); !next.IsSiblingAlive() || there != 100 {
-				t.Errorf("the new one sees %d sockets", there)
+			second := acquire(t, dir)
+			if sockets := siblingSockets(second, 7); !second.IsSiblingAlive() || sockets != 100 {
+				t.Errorf("the new one sees %d sockets", sockets)
 			}
-			if there := shared(old, 99); !old.IsSiblingAlive() || there != 7 {
-				t.Errorf("the old one sees %d sockets", there)
+			if sockets := siblingSockets(first, 99); !first.IsSiblingAlive() || sockets != 7 {
+				t.Errorf("the old one sees %d sockets", sockets)
 			}
-			if _, err := Acquire(dir, "[::1]:7070", time.Now().Add(3*again)); !errors.Is(err, ErrNoFreeSlot) {
+			if _, err := Acquire(dir, "[::1]:7070", time.Now().Add(3*retryInterval)); !errors.Is(err, ErrNoFreeSlot) {
 				t.Errorf("a third: %v", err)
 			}
-			old.Close()
-			if next.IsSiblingAlive() || shared(next, 1) != 0 {
+			first.Close()
+			if second.IsSiblingAlive() || siblingSockets(second, 1) != 0 {
 				t.Error("the old one's end is not seen")
 			}
-			take(t, dir) // its place is free
+			acquire(t, dir) // its place is free
 		})
 	}
 }
 
 // Whether the other process takes clients ends with its word or with its life, and of two
 // that leave at once each, or one, learns that the other does.
-func TestServes(t *testing.T) {
+func TestServingStateEndsWithItsProcess(t *testing.T) {
 	dir := t.TempDir()
-	old, next := take(t, dir), take(t, dir)
-	old.SetServing(true)
-	if old.IsSiblingServing() || !next.IsSiblingServing() {
+	first, second := acquire(t, dir), acquire(t, dir)
+	first.SetServing(true)
+	if first.IsSiblingServing() || !second.IsSiblingServing() {
 		t.Error("beside one that is not ready yet")
 	}
-	next.SetServing(true)
-	if !old.IsSiblingServing() || !next.IsSiblingServing() {
+	second.SetServing(true)
+	if !first.IsSiblingServing() || !second.IsSiblingServing() {
 		t.Error("beside one that serves")
 	}
-	old.SetServing(false)
-	next.SetServing(false)
-	if old.IsSiblingServing() || next.IsSiblingServing() {
+	first.SetServing(false)
+	second.SetServing(false)
+	if first.IsSiblingServing() || second.IsSiblingServing() {
 		t.Error("both leave")
 	}
-	next.SetServing(true)
-	next.Close()
-	if old.IsSiblingAlive() || old.IsSiblingServing() {
+	second.SetServing(true)
+	second.Close()
+	if first.IsSiblingAlive() || first.IsSiblingServing() {
 		t.Error("beside one that has ended")
 	}
-	if again := take(t, dir); old.IsSiblingServing() || !old.IsSiblingAlive() {
-		t.Errorf("%s inherits the word of the one before", again.Name())
+	if third := acquire(t, dir); first.IsSiblingServing() || !first.IsSiblingAlive() {
+		t.Errorf("%s inherits the word of the one before", third.Name())
 	}
 }
 
 // What can't be the file is an error that names it.
-func TestNoFile(t *testing.T) {
+func TestRejectsDirectoryAndAllowsNilLock(t *testing.T) {
 	dir := t.TempDir()
 	if err := os.Mkdir(filepath.Join(dir, "coralrelay---1-7070"), 0o700); err != nil {
 		t.Fatal(err)
@@ -95,13 +95,13 @@
 	if _, err := Acquire(dir, "[::1]:7070", time.Time{}); err == nil {
 		t.Error("a folder passes for the file")
 	}
-	var alone *Lock
-	if alone.IsSiblingAlive() || shared(alone, 3) != 0 {
+	var none *Lock
+	if none.IsSiblingAlive() || siblingSockets(none, 3) != 0 {
 		t.Error("a process that shares with nobody sees another")
 	}
-	alone.SetServing(true)
-	if alone.IsSiblingServing() {
+	none.SetServing(true)
+	if none.IsSiblingServing() {
 		t.Error("a process that shares with nobody is succeeded")
 	}
-	alone.Close()
+	none.Close()
 }
--- a/internal/instancelock/stored_test.go
+++ b/internal/instancelock/stored_test.go
@@ -19,7 +19,7 @@
 // Two processes write exactly these bytes.
 func TestStoredFileIsWritten(t *testing.T) {
 	dir := t.TempDir()
-	first, second := take(t, dir), take(t, dir)
+	first, second := acquire(t, dir), acquire(t, dir)
 	first.ExchangeSocketCounts(0x030201)
 	second.ExchangeSocketCounts(0x060504)
 	got, err := os.ReadFile(filepath.Join(dir, "coralrelay---1-7070"))
@@ -66,25 +66,25 @@
 		return l
 	}
 	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 1) // the second place
-	p := take(t, dir)
-	if p.Name() != "coralrelay---1-7070.0" || p.SiblingName() != "coralrelay---1-7070.1" {
-		t.Errorf("this one is %s, the other %s", p.Name(), p.SiblingName())
+	lock := acquire(t, dir)
+	if lock.Name() != "coralrelay---1-7070.0" || lock.SiblingName() != "coralrelay---1-7070.1" {
+		t.Errorf("this one is %s, the other %s", lock.Name(), lock.SiblingName())
 	}
-	if n, lives := p.ExchangeSocketCounts(9); n != 0x060504 || !lives {
-		t.Errorf("the other uses %#x sockets, lives: %v", n, lives)
+	if n, alive := lock.ExchangeSocketCounts(9); n != 0x060504 || !alive {
+		t.Errorf("the other uses %#x sockets, lives: %v", n, alive)
 	}
-	if p.IsSiblingServing() {
+	if lock.IsSiblingServing() {
 		t.Error("succeeded by one that takes no clients")
 	}
 	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 3) // it takes clients
-	if !p.IsSiblingServing() {
+	if !lock.IsSiblingServing() {
 		t.Error("not succeeded by one that takes clients")
 	}
-	for _, serves := range []bool{false, true} {
-		p.SetServing(serves)
-		lives, takes := fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 0), fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 2)
-		if lives.Type == unix.F_UNLCK || takes.Type == unix.F_UNLCK == serves {
-			t.Errorf("serves: %v, but the locks on bytes 0 and 2 are %d and %d", serves, lives.Type, takes.Type)
+	for _, serving := range []bool{false, true} {
+		lock.SetServing(serving)
+		alive, servingRange := fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 0), fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 2)
+		if alive.Type == unix.F_UNLCK || servingRange.Type == unix.F_UNLCK == serving {
+			t.Errorf("serves: %v, but the locks on bytes 0 and 2 are %d and %d", serving, alive.Type, servingRange.Type)
 		}
 	}
 }
