--- a/internal/fleet/slo/allocate.go
+++ b/internal/fleet/slo/allocate.go
@@ -7,55 +7,55 @@
 )
 
 // place is a region as it fills up, in set-ups a second.
-type place struct {
-	name               string
-	usable             bool
-	all                float64 // that it bears
-	room, fill, inflow float64 // left of it, of the part up to which it may be moved to, of this period's moves
-	pressed            float64 // was moved in, and those of less priority have not made way for it
+type regionCapacity struct {
+	name                        string
+	usable                      bool
+	capacity                    float64 // that it bears
+	spare, headroom, inflowLeft float64 // left of it, of the part up to which it may be moved to, of this period's moves
+	displaced                   float64 // was moved in, and those of less priority have not made way for it
 }
 
 // want is a contract as it is placed, in thousandths of its set-ups, by region.
-type want struct {
-	contract   *Contract
-	unit       float64 // set-ups a second in a thousandth
-	allowed    []bool
-	views      []view
-	cur, next  []int
-	over       []int // of next, what the region has no room for
-	homeless   int
-	moved      int
-	free, due  bool // the record takes a step of it; its period is over
-	burning    bool
-	why        string // it can't be kept, if it can't
-	explored   string
-	lastUnkept string
+type placement struct {
+	contract          *Contract
+	ratePerThousandth float64 // set-ups a second in a thousandth
+	allowed           []bool
+	regionViews       []regionView
+	current, next     []int
+	overflow          []int // of next, what the region has no room for
+	unplaced          int
+	moved             int
+	maySteer, isDue   bool // the record takes a step of it; its period is over
+	isBurning         bool
+	unmetReason       string // it can't be kept, if it can't
+	exploredRegion    string
+	lastUnmetReason   string
 }
 
 // fit is how many of most thousandths there is room for.
-func fit(room, unit float64, most int) int {
+func fitting(room, unit float64, most int) int {
 	if unit <= 0 {
 		return most
 	}
 	return int(min(max(math.Floor(room/unit+1e-9), 0), float64(most)))
 }
 
-func (p *place) take(w *want, k int) {
-	p.room, p.fill = p.room-float64(k)*w.unit, p.fill-float64(k)*w.unit
+func (p *regionCapacity) reserve(w *placement, k int) {
+	p.spare, p.headroom = p.spare-float64(k)*w.ratePerThousandth, p.headroom-float64(k)*w.ratePerThousandth
 }
 
 // allocate places all contracts: those that can be kept by priority, then those that
 // can't. Within a priority all who are somewhere stay first, so that few are moved; what
 // comes later never takes from what came before.
-func (st *Controller) allocate(wants []*want, places []place) {
+func (st *Controller) allocate(wants []*placement, places []regionCapacity) {
 	order := slices.Clone(wants)
-	rank := func(w *want) int {
-		if w.lastUnkept != "" {
+	rank := func(w *placement) int {
+		if w.lastUnmetReason != "" {
 			return math.MaxInt32 + w.contract.Priority
 		}
 		return w.contract.Priority
 	}
-	choices := func(w *want) (n int) {
+	choices := func(w *placement) (n int) {
 		for _, ok := range w.allowed {
 			if ok {
 				n++
@@ -63,7 +63,7 @@
 		}
 		return n
 	}
-	slices.SortFunc(order, func(a, b *want) int {
+	slices.SortFunc(order, func(a, b *placement) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(choices(a), choices(b)),
 			cmp.Compare(a.contract.Name, b.contract.Name))
 	})
@@ -73,13 +73,13 @@
 			n++
 		}
 		for _, w := range order[:n] {
-			st.stay(w, places)
+			st.retain(w, places)
 		}
 		for _, w := range order[:n] {
-			st.house(w, places)
+			st.placeRemainder(w, places)
 		}
 		for _, w := range order[:n] {
-			st.move(w, places)
+			st.moveFromBreaches(w, places)
 		}
 		order = order[n:]
 	}
@@ -87,58 +87,58 @@
 
 // bears is how many thousandths of a contract still fit. One that can't be kept gets what
 // lies below the full mark only, so that it makes no region slow for the others.
-func (p *place) bears(w *want, k int) int {
-	if w.lastUnkept != "" {
-		return fit(min(p.room, p.fill), w.unit, k)
+func (p *regionCapacity) fits(w *placement, k int) int {
+	if w.lastUnmetReason != "" {
+		return fitting(min(p.spare, p.headroom), w.ratePerThousandth, k)
 	}
-	return fit(p.room, w.unit, k)
+	return fitting(p.spare, w.ratePerThousandth, k)
 }
 
 // stays is how many of k thousandths a contract keeps in a region. Who is there may stay
 // above the full mark, but makes way for those of more priority who are moved in.
-func (p *place) stays(w *want, k int) int {
-	k = p.bears(w, k)
-	if way := min(float64(k)*w.unit-max(p.fill, 0), p.pressed); way > 0 {
-		p.pressed -= way
-		k -= min(k, int(math.Ceil(way/w.unit-1e-9)))
+func (p *regionCapacity) retained(w *placement, k int) int {
+	k = p.fits(w, k)
+	if way := min(float64(k)*w.ratePerThousandth-max(p.headroom, 0), p.displaced); way > 0 {
+		p.displaced -= way
+		k -= min(k, int(math.Ceil(way/w.ratePerThousandth-1e-9)))
 	}
 	return k
 }
 
 // stay keeps what a contract has where the region bears it; the rest is homeless.
-func (st *Controller) stay(w *want, places []place) {
-	w.next, w.over = make([]int, len(places)), make([]int, len(places))
-	w.homeless = mille
+func (st *Controller) retain(w *placement, places []regionCapacity) {
+	w.next, w.overflow = make([]int, len(places)), make([]int, len(places))
+	w.unplaced = thousandths
 	for r := range places {
 		k := 0
-		if !w.free {
-			k = w.cur[r] // it goes there whatever is said here
+		if !w.maySteer {
+			k = w.current[r] // it goes there whatever is said here
 		} else if w.allowed[r] && places[r].usable {
-			k = w.cur[r]
+			k = w.current[r]
 			if !st.DisabledGuards.CapacityLimits {
-				k = places[r].stays(w, k)
+				k = places[r].retained(w, k)
 			}
 		}
 		w.next[r] = k
-		w.homeless -= k
-		places[r].take(w, k)
+		w.unplaced -= k
+		places[r].reserve(w, k)
 	}
-	if !w.free && w.homeless > 0 { // its allocation names regions that are no more
-		w.homeless = 0
+	if !w.maySteer && w.unplaced > 0 { // its allocation names regions that are no more
+		w.unplaced = 0
 	}
 }
 
 // by lists the regions that a contract may use, the best first.
-func (w *want) by(places []place) []int {
+func (w *placement) rankedRegions(places []regionCapacity) []int {
 	var list []int
 	for r := range places {
 		if w.allowed[r] && places[r].usable {
 			list = append(list, r)
 		}
 	}
-	merit := [...]int{unknown: 1, keeps: 0, breaks: 2}
+	merit := [...]int{unknown: 1, meets: 0, breaches: 2}
 	slices.SortStableFunc(list, func(a, b int) int {
-		return cmp.Or(cmp.Compare(merit[w.views[a].verdict], merit[w.views[b].verdict]), cmp.Compare(w.views[b].score, w.views[a].score))
+		return cmp.Or(cmp.Compare(merit[w.regionViews[a].verdict], merit[w.regionViews[b].verdict]), cmp.Compare(w.regionViews[b].score, w.regionViews[a].score))
 	})
 	return list
 }
@@ -146,47 +146,47 @@
 // house finds room for what is homeless. It is on its way already, as its region is left
 // or full, so no step bounds it. What fits nowhere goes where it was, or else by what the
 // regions bear, and is told as over: whoever refuses, refuses these first.
-func (st *Controller) house(w *want, places []place) {
-	list := w.by(places)
+func (st *Controller) placeRemainder(w *placement, places []regionCapacity) {
+	list := w.rankedRegions(places)
 	for _, full := range []bool{false, true} { // to the full mark everywhere before above it anywhere
 		for _, r := range list {
-			k := places[r].bears(w, w.homeless)
+			k := places[r].fits(w, w.unplaced)
 			if !full {
-				k = fit(min(places[r].room, places[r].fill), w.unit, k)
+				k = fitting(min(places[r].spare, places[r].headroom), w.ratePerThousandth, k)
 			}
 			if st.DisabledGuards.CapacityLimits {
-				k = w.homeless
+				k = w.unplaced
 			}
 			w.next[r] += k
-			w.homeless -= k
+			w.unplaced -= k
 			w.moved += k
-			places[r].take(w, k)
+			places[r].reserve(w, k)
 		}
 	}
-	if w.homeless == 0 {
+	if w.unplaced == 0 {
 		return
 	}
 	if len(list) == 0 {
-		w.why, w.over, w.homeless = "zones: none that it may use is usable", slices.Clone(w.cur), 0
+		w.unmetReason, w.overflow, w.unplaced = "zones: none that it may use is usable", slices.Clone(w.current), 0
 		return
 	}
-	w.why = "limit: " + names(places, list) + " have no room for all of it"
+	w.unmetReason = "limit: " + joinRegionNames(places, list) + " have no room for all of it"
 	for _, r := range list {
-		k := min(max(w.cur[r]-w.next[r], 0), w.homeless)
-		w.over[r], w.homeless = k, w.homeless-k
+		k := min(max(w.current[r]-w.next[r], 0), w.unplaced)
+		w.overflow[r], w.unplaced = k, w.unplaced-k
 	}
 	weights := make([]float64, len(places))
 	for _, r := range list {
-		weights[r] = places[r].all + 1e-6 // one that bears nothing is a place too
+		weights[r] = places[r].capacity + 1e-6 // one that bears nothing is a place too
 	}
-	for r, k := range spread(w.homeless, weights) {
-		w.over[r] += k
+	for r, k := range apportion(w.unplaced, weights) {
+		w.overflow[r] += k
 	}
-	w.homeless = 0
+	w.unplaced = 0
 }
 
 // spread cuts a whole into parts by weights; the rest goes to the greatest remainders.
-func spread(whole int, weights []float64) []int {
+func apportion(whole int, weights []float64) []int {
 	parts, sum, left := make([]int, len(weights)), 0.0, whole
 	for _, x := range weights {
 		sum += x
@@ -207,7 +207,7 @@
 	return parts
 }
 
-func names(places []place, list []int) (s string) {
+func joinRegionNames(places []regionCapacity, list []int) (s string) {
 	for i, r := range slices.Sorted(slices.Values(list)) {
 		if i == 4 {
 			return s + " and others"
--- a/internal/fleet/slo/config.go
+++ b/internal/fleet/slo/config.go
@@ -35,13 +35,13 @@
 		return "parts"
 	case c.LateSampleTimeout < 0 || c.LateSampleTimeout > 2*c.SampleInterval:
 		return "late"
-	case c.MaxMeasurements < 1 || c.MaxMeasurements > mostCells:
+	case c.MaxMeasurements < 1 || c.MaxMeasurements > maxMeasurementsLimit:
 		return "cells"
 	case !(c.ZScore >= 0.5 && c.ZScore <= 6):
 		return "z"
 	case !(c.MinSamples >= 1 && c.MinSamples <= 1e6):
 		return "need"
-	case c.MoveInterval < spell/2*time.Millisecond: // the record takes no more steps
+	case c.MoveInterval < minSteerIntervalMs/2*time.Millisecond: // the record takes no more steps
 		return "period"
 	case !share(c.MaxMoveFraction):
 		return "step"
@@ -60,7 +60,7 @@
 }
 
 // slot is the number of the part of time in which now lies.
-func (c Config) slot(now time.Duration) int64 { return int64(now / c.SampleInterval) }
+func (c Config) interval(now time.Duration) int64 { return int64(now / c.SampleInterval) }
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
 type Guards struct {
--- a/internal/fleet/slo/histogram.go
+++ b/internal/fleet/slo/histogram.go
@@ -10,24 +10,24 @@
 )
 
 // longest is what a longer time counts as, and what never came.
-const longest = time.Minute
+const maxResponseTime = time.Minute
 
 // All histograms have these buckets: 1 ms wide up to 32 ms, then 16 for each doubling, so
 // none is wider than a sixteenth of its time. Equal buckets merge exactly.
 const (
-	lowest, highest, figures = 1, int64(longest / time.Millisecond), 1
-	mostCount                = 1_000_000 // in a bucket of one sample
-	mostBytes                = 1024      // of a histogram as it is told
+	lowestMs, highestMs, significantFigures = 1, int64(maxResponseTime / time.Millisecond), 1
+	maxBucketCount                          = 1_000_000 // in a bucket of one sample
+	maxHistogramBytes                       = 1024      // of a histogram as it is told
 )
 
 // buckets only tells where they lie; nothing is recorded in it.
-var buckets = hdr.New(lowest, highest, figures)
+var bucketLayout = hdr.New(lowestMs, highestMs, significantFigures)
 
 // Hist is a histogram as it is told and kept: for each bucket that holds something, by
 // time, the distance in ms to the one before and the count, as varints.
 type Histogram []byte
 
-func tell(p *hdr.PackedHistogram) Histogram {
+func encodeHistogram(p *hdr.PackedHistogram) Histogram {
 	var h Histogram
 	last := int64(0)
 	p.ForEachBucket(func(value, count int64) bool {
@@ -39,15 +39,15 @@
 }
 
 // each calls f with every bucket's time in ms and count, and returns false where h is none.
-func (h Histogram) each(f func(ms, count int64)) bool {
+func (h Histogram) forEachBucket(f func(ms, count int64)) bool {
 	ms := int64(0)
 	for first := true; len(h) > 0; first = false {
 		step, n := binary.Uvarint(h)
-		if n <= 0 || step > uint64(highest) || step == 0 && !first {
+		if n <= 0 || step > uint64(highestMs) || step == 0 && !first {
 			return false
 		}
 		count, m := binary.Uvarint(h[n:])
-		if ms += int64(step); m <= 0 || count == 0 || count > math.MaxUint32 || ms > highest {
+		if ms += int64(step); m <= 0 || count == 0 || count > math.MaxUint32 || ms > highestMs {
 			return false
 		}
 		f(ms, int64(count))
@@ -57,38 +57,38 @@
 }
 
 // sound tells whether a histogram from outside can be true.
-func (h Histogram) sound() bool {
-	good := len(h) > 0 && len(h) <= mostBytes
-	return good && h.each(func(_, count int64) { good = good && count <= mostCount }) && good
+func (h Histogram) isPlausible() bool {
+	good := len(h) > 0 && len(h) <= maxHistogramBytes
+	return good && h.forEachBucket(func(_, count int64) { good = good && count <= maxBucketCount }) && good
 }
 
 // All is how many times are in it.
 func (h Histogram) Count() (all int64) {
-	h.each(func(_, count int64) { all += count })
+	h.forEachBucket(func(_, count int64) { all += count })
 	return all
 }
 
 // Over is how many of them are above a bound. The bucket in which the bound lies counts as
 // above it: a promise is never said to be kept that is not.
 func (h Histogram) CountAbove(bound time.Duration) (over int64) {
-	h.each(func(ms, count int64) {
-		if above(ms, int64(bound/time.Millisecond)) {
+	h.forEachBucket(func(ms, count int64) {
+		if isAbove(ms, int64(bound/time.Millisecond)) {
 			over += count
 		}
 	})
 	return over
 }
 
-func above(ms, bound int64) bool {
-	return ms > bound || buckets.ValuesAreEquivalent(ms, bound) && buckets.ValuesAreEquivalent(bound, bound+1)
+func isAbove(ms, bound int64) bool {
+	return ms > bound || bucketLayout.ValuesAreEquivalent(ms, bound) && bucketLayout.ValuesAreEquivalent(bound, bound+1)
 }
 
 // into adds the histogram, scaled to weigh no more than most; the sum of what is added is
 // exact, and a bucket's part off by less than one.
-func (h Histogram) into(p *hdr.PackedHistogram, most int64) error {
+func (h Histogram) addTo(p *hdr.PackedHistogram, most int64) error {
 	all, sum, added := h.Count(), int64(0), int64(0)
 	var err error
-	h.each(func(ms, count int64) {
+	h.forEachBucket(func(ms, count int64) {
 		sum += count
 		if all > most {
 			count = sum*most/all - added
@@ -103,4 +103,6 @@
 	return nil
 }
 
-func newHist() *hdr.PackedHistogram { return hdr.NewPacked(lowest, highest, figures) }
+func newPackedHistogram() *hdr.PackedHistogram {
+	return hdr.NewPacked(lowestMs, highestMs, significantFigures)
+}
--- a/internal/fleet/slo/merge_test.go
+++ b/internal/fleet/slo/merge_test.go
@@ -11,9 +11,9 @@
 	"pgregory.net/rapid"
 )
 
-const begin = 1_000_000 * 5 * time.Second
+const startTime = 1_000_000 * 5 * time.Second
 
-func fleetOf(names ...string) *Aggregator {
+func newTestAggregator(names ...string) *Aggregator {
 	f := NewAggregator(DefaultConfig())
 	var s State
 	for _, n := range names {
@@ -24,41 +24,41 @@
 }
 
 // measured is a member's sample of n times in the part at begin.
-func measured(member string, boot int64, took time.Duration, n int) Sample {
+func recordedSample(member string, boot int64, took time.Duration, n int) Sample {
 	t := NewRecorder(DefaultConfig(), member, "z", boot)
 	t.SetContracts(State{Contracts: []Contract{{Name: "k"}}})
-	t.Rotate(begin)
+	t.Rotate(startTime)
 	for range n {
-		t.Record(begin, "k", "a", took)
+		t.Record(startTime, "k", "a", took)
 	}
-	return *t.Rotate(begin + 5*time.Second)
+	return *t.Rotate(startTime + 5*time.Second)
 }
 
 // Merging is the same in any order, and as often as one likes.
-func TestMergeConverges(t *testing.T) {
+func TestMergeConvergesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var samples []Sample
 		for range rapid.IntRange(1, 8).Draw(t, "samples") {
 			member, boot, seq := rapid.IntRange(0, 3).Draw(t, "member"), rapid.IntRange(1, 2).Draw(t, "boot"), rapid.IntRange(1, 3).Draw(t, "seq")
-			s := measured(fmt.Sprint("n", member), int64(boot), time.Duration(member+7*boot+50*seq)*time.Millisecond, member+boot+seq) // one number, one word
+			s := recordedSample(fmt.Sprint("n", member), int64(boot), time.Duration(member+7*boot+50*seq)*time.Millisecond, member+boot+seq) // one number, one word
 			s.Seq = uint64(seq)
 			samples = append(samples, s)
 		}
-		one, other := fleetOf("k"), fleetOf("k")
+		one, other := newTestAggregator("k"), newTestAggregator("k")
 		for _, s := range samples {
-			one.Merge(begin, s)
+			one.Merge(startTime, s)
 		}
 		for _, s := range rapid.Permutation(append(slices.Clone(samples), samples...)).Draw(t, "order") {
-			other.Merge(begin, s)
+			other.Merge(startTime, s)
 		}
-		a, b := one.CloseIntervals(begin+15*time.Second), other.CloseIntervals(begin+15*time.Second)
+		a, b := one.CloseIntervals(startTime+15*time.Second), other.CloseIntervals(startTime+15*time.Second)
 		if len(a) == 0 || !reflect.DeepEqual(a, b) {
 			t.Fatalf("%v and %v", a, b)
 		}
-		if one.CloseIntervals(begin+20*time.Second) != nil {
+		if one.CloseIntervals(startTime+20*time.Second) != nil {
 			t.Fatal("handed out twice")
 		}
-		if news, _ := one.Merge(begin+15*time.Second, samples[0]); news {
+		if news, _ := one.Merge(startTime+15*time.Second, samples[0]); news {
 			t.Fatal("taken after its part was handed out")
 		}
 	})
@@ -66,16 +66,16 @@
 
 // A sound histogram comes out as it went in, a member that lies counts three times the
 // median at most, and what can't be true is refused by name.
-func TestLies(t *testing.T) {
-	f := fleetOf("k")
+func TestClampsAndRejectsFalseSamples(t *testing.T) {
+	f := newTestAggregator("k")
 	for i := range 4 {
-		f.Merge(begin, measured(fmt.Sprint("n", i), 1, 20*time.Millisecond, 10))
+		f.Merge(startTime, recordedSample(fmt.Sprint("n", i), 1, 20*time.Millisecond, 10))
 	}
-	liar := measured("liar", 1, time.Minute, 500)
-	if news, err := f.Merge(begin, liar); !news || err != nil {
+	liar := recordedSample("liar", 1, time.Minute, 500)
+	if news, err := f.Merge(startTime, liar); !news || err != nil {
 		t.Fatal(news, err)
 	}
-	seen := f.CloseIntervals(begin + 15*time.Second)
+	seen := f.CloseIntervals(startTime + 15*time.Second)
 	if len(seen) != 1 || seen[0].Members != 5 || seen[0].Histogram.Count() != 70 || seen[0].Histogram.CountAbove(50*time.Millisecond) != 30 {
 		t.Errorf("%+v", seen)
 	}
@@ -87,29 +87,29 @@
 		"no histogram, ": func(s *Sample) { s.Measurements = []Measurement{{"k", 0, Histogram{10, 0xff, 0xff, 0xff, 0x7f}}} }, // absurd
 		"contract \"k\"": func(s *Sample) { s.Measurements = []Measurement{{"k", 0, Histogram{0xff, 0xff, 0xff, 1, 1}}} },     // past the longest
 	} {
-		bad := measured("n9", 1, time.Second, 1)
+		bad := recordedSample("n9", 1, time.Second, 1)
 		f(&bad)
-		if _, err := fleetOf("k").Merge(begin, bad); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "n9") {
+		if _, err := newTestAggregator("k").Merge(startTime, bad); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "n9") {
 			t.Errorf("%v, want %q", err, want)
 		}
 	}
 }
 
 // What there is no room for is the least used of the least priority.
-func TestDroppedFirst(t *testing.T) {
+func TestDropsLeastUsedOfLowestPriority(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.MaxMeasurements = 3
 	tally := NewRecorder(cfg, "n", "z", 1)
 	tally.SetContracts(State{Contracts: []Contract{{Name: "high"}, {Name: "low", Priority: 9}}})
-	tally.Rotate(begin)
+	tally.Rotate(startTime)
 	for region, n := range map[string]int{"a": 2, "b": 5} {
 		for range n {
-			tally.Record(begin, "low", region, time.Millisecond)
-			tally.Record(begin, "high", region, time.Millisecond)
-			tally.Record(begin, "unknown", region, time.Millisecond)
+			tally.Record(startTime, "low", region, time.Millisecond)
+			tally.Record(startTime, "high", region, time.Millisecond)
+			tally.Record(startTime, "unknown", region, time.Millisecond)
 		}
 	}
-	s := tally.Rotate(begin + cfg.SampleInterval)
+	s := tally.Rotate(startTime + cfg.SampleInterval)
 	var got []string
 	for _, c := range s.Measurements {
 		got = append(got, c.Contract+s.Regions[c.RegionIndex])
@@ -120,13 +120,13 @@
 }
 
 // The bound's own bucket counts as over it, whatever the bound.
-func TestOver(t *testing.T) {
+func TestObjectiveBucketCountsAsAbove(t *testing.T) {
 	for _, ms := range []int{1, 20, 31, 32, 33, 47, 63, 64, 100, 1000} {
 		bound := time.Duration(ms) * time.Millisecond
-		if over := measured("n", 1, bound+time.Microsecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 3 {
+		if over := recordedSample("n", 1, bound+time.Microsecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 3 {
 			t.Errorf("just over %v: %d of 3 are over", bound, over)
 		}
-		if over := measured("n", 1, bound*15/16-time.Millisecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 0 {
+		if over := recordedSample("n", 1, bound*15/16-time.Millisecond, 3).Measurements[0].Histogram.CountAbove(bound); over != 0 {
 			t.Errorf("a sixteenth and 1 ms under %v: %d of 3 are over", bound, over)
 		}
 	}
--- a/internal/fleet/slo/state.go
+++ b/internal/fleet/slo/state.go
@@ -28,7 +28,7 @@
 }
 
 // spell is the time within which a contract is steered twice at most, in ms.
-const spell = 60_000
+const minSteerIntervalMs = 60_000
 
 // Contract returns the contract of that name.
 func (s State) Contract(name string) (Contract, bool) {
@@ -41,14 +41,14 @@
 
 // Allocation returns where a contract's transactions go, if that was ever decided.
 func (s State) Allocation(name string) (Allocation, bool) {
-	i, ok := s.steered(name)
+	i, ok := s.allocationIndex(name)
 	if !ok {
 		return Allocation{}, false
 	}
 	return s.Allocations[i], true
 }
 
-func (s State) steered(name string) (int, bool) {
+func (s State) allocationIndex(name string) (int, bool) {
 	return slices.BinarySearchFunc(s.Allocations, name, func(a Allocation, n string) int { return cmp.Compare(a.Contract, n) })
 }
 
@@ -66,12 +66,12 @@
 	case at <= 0 || at > 1<<52:
 		return s, fmt.Errorf("at %d: no time", at)
 	case len(c.Allocations) > 0:
-		return s.steer(c, at)
+		return s.applyAllocations(c, at)
 	}
-	return s.author(c, may)
+	return s.applyContracts(c, may)
 }
 
-func (s State) author(c Change, may func(holder string) error) (State, error) {
+func (s State) applyContracts(c Change, may func(holder string) error) (State, error) {
 	of := map[string]Contract{}
 	for _, k := range s.Contracts {
 		of[k.Name] = k
@@ -88,7 +88,7 @@
 		delete(of, name)
 	}
 	for _, k := range c.Set {
-		if err := k.check(); err != nil {
+		if err := k.validate(); err != nil {
 			return s, err
 		}
 		if named[k.Name] {
@@ -107,8 +107,8 @@
 		k.Zones = slices.Clone(k.Zones)
 		of[k.Name] = k
 	}
-	if len(of) > mostContracts {
-		return s, fmt.Errorf("%d contracts, at most %d", len(of), mostContracts)
+	if len(of) > maxContracts {
+		return s, fmt.Errorf("%d contracts, at most %d", len(of), maxContracts)
 	}
 	next := State{Version: s.Version + 1, AllocationVersion: s.AllocationVersion}
 	for _, name := range slices.Sorted(maps.Keys(of)) {
@@ -116,7 +116,7 @@
 	}
 	// What was decided stands, unless its contract no longer allows it.
 	for _, a := range s.Allocations {
-		if k, ok := of[a.Contract]; ok && k.allows(a.Shares) == nil {
+		if k, ok := of[a.Contract]; ok && k.checkZones(a.Shares) == nil {
 			next.Allocations = append(next.Allocations, a)
 		}
 	}
@@ -124,7 +124,7 @@
 }
 
 // allows tells which of the zones is none of the contract's.
-func (c *Contract) allows(shares map[string]float64) error {
+func (c *Contract) checkZones(shares map[string]float64) error {
 	for _, zone := range slices.Sorted(maps.Keys(shares)) {
 		if len(c.Zones) > 0 && !slices.Contains(c.Zones, zone) {
 			return fmt.Errorf("contract %q: may not use zone %.64q", c.Name, zone)
@@ -134,14 +134,14 @@
 }
 
 // round returns the share in whole thousandths, or false for what is none.
-func round(x float64) (int, bool) {
+func toThousandths(x float64) (int, bool) {
 	if !(x >= 0 && x <= 1) {
 		return 0, false
 	}
-	return int(math.Round(x * mille)), true
+	return int(math.Round(x * thousandths)), true
 }
 
-func (s State) steer(c Change, at int64) (State, error) {
+func (s State) applyAllocations(c Change, at int64) (State, error) {
 	if c.BaseAllocationVersion != s.AllocationVersion {
 		return s, fmt.Errorf("decided after step %d, and %d have been taken", c.BaseAllocationVersion, s.AllocationVersion)
 	}
@@ -158,16 +158,16 @@
 			return s, fmt.Errorf("contract %q: steered twice in one entry", a.Contract)
 		}
 		named[a.Contract] = true
-		if err := a.sound(&k); err != nil {
+		if err := a.normalize(&k); err != nil {
 			return s, err
 		}
-		i, ok := next.steered(a.Contract)
+		i, ok := next.allocationIndex(a.Contract)
 		if ok {
 			old := next.Allocations[i]
 			// A clock behind the last proposer's gains nothing.
 			now := max(at, old.SteeredAt)
-			if old.PreviouslySteeredAt > 0 && now < old.PreviouslySteeredAt+spell {
-				return s, fmt.Errorf("contract %q: steered twice within %d s", a.Contract, spell/1000)
+			if old.PreviouslySteeredAt > 0 && now < old.PreviouslySteeredAt+minSteerIntervalMs {
+				return s, fmt.Errorf("contract %q: steered twice within %d s", a.Contract, minSteerIntervalMs/1000)
 			}
 			a.SteeredAt, a.PreviouslySteeredAt = now, old.SteeredAt
 			next.Allocations[i] = a
@@ -180,27 +180,27 @@
 }
 
 // sound checks an allocation and brings its shares to whole thousandths, in a map of its own.
-func (a *Allocation) sound(c *Contract) error {
+func (a *Allocation) normalize(c *Contract) error {
 	sum, shares := 0, make(map[string]float64, len(a.Shares))
-	if len(a.Shares) > mostZones {
-		return fmt.Errorf("contract %q: %d zones, at most %d", c.Name, len(a.Shares), mostZones)
+	if len(a.Shares) > maxZones {
+		return fmt.Errorf("contract %q: %d zones, at most %d", c.Name, len(a.Shares), maxZones)
 	}
 	for _, zone := range slices.Sorted(maps.Keys(a.Shares)) {
-		k, ok := round(a.Shares[zone])
-		if !ok || !word(zone, 64) {
+		k, ok := toThousandths(a.Shares[zone])
+		if !ok || !isValidName(zone, 64) {
 			return fmt.Errorf("contract %q: zone %.64q: a share is 0 to 1", c.Name, zone)
 		}
 		if sum += k; k > 0 {
-			shares[zone] = float64(k) / mille
+			shares[zone] = float64(k) / thousandths
 		}
 	}
-	if sum != mille {
+	if sum != thousandths {
 		return fmt.Errorf("contract %q: shares add up to %d thousandths", c.Name, sum)
 	}
-	over, ok := round(a.Overflow)
+	over, ok := toThousandths(a.Overflow)
 	if !ok || len(a.UnmetReason) > 256 {
 		return fmt.Errorf("contract %q: over is 0 to 1, a reason at most 256 bytes", c.Name)
 	}
-	a.Shares, a.Overflow = shares, float64(over)/mille
-	return c.allows(shares)
+	a.Shares, a.Overflow = shares, float64(over)/thousandths
+	return c.checkZones(shares)
 }
--- a/internal/fleet/slo/state_test.go
+++ b/internal/fleet/slo/state_test.go
@@ -15,14 +15,14 @@
 	return Contract{Name: name, Holder: "acme", Quantile: 0.95, Objective: 50 * time.Millisecond, Window: time.Minute, Target: 0.99, Zones: []string{"a", "b"}}
 }
 
-func may(holder string) error {
+func mayGrant(holder string) error {
 	if holder != "acme" {
 		return errors.New("not yours")
 	}
 	return nil
 }
 
-func TestApply(t *testing.T) {
+func TestApplyAcceptsAndRejectsChanges(t *testing.T) {
 	with := func(f func(*Contract)) Change {
 		c := contract("x")
 		f(&c)
@@ -33,7 +33,7 @@
 		f(&a)
 		return Change{BaseVersion: 1, Allocations: []Allocation{a}}
 	}
-	s, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, may)
+	s, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,7 +59,7 @@
 		{"a zone that it may not use", `zone "c"`, steer(func(a *Allocation) { a.Shares = map[string]float64{"c": 1} })},
 	} {
 		before := fmt.Sprint(s)
-		next, err := s.Apply(tt.c, 5, may)
+		next, err := s.Apply(tt.c, 5, mayGrant)
 		if tt.err == "" && err != nil || tt.err != "" && (err == nil || !strings.Contains(err.Error(), tt.err)) {
 			t.Errorf("%s: %v, want %q", tt.name, err, tt.err)
 		}
@@ -71,36 +71,36 @@
 
 // However entries and their clocks follow one another, a contract is steered twice at most
 // within a minute of the entries' own time.
-func TestSteeredTwiceAMinute(t *testing.T) {
+func TestContractIsSteeredAtMostTwiceAMinute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s, _ := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, may)
+		s, _ := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
 		var taken []int64
 		for at := int64(100_000); len(taken) < 6; {
 			at += int64(rapid.IntRange(-20_000, 60_000).Draw(t, "later"))
-			next, err := s.Apply(Change{BaseVersion: 1, BaseAllocationVersion: s.AllocationVersion, Allocations: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), may)
+			next, err := s.Apply(Change{BaseVersion: 1, BaseAllocationVersion: s.AllocationVersion, Allocations: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), mayGrant)
 			if err != nil {
 				continue
 			}
 			s = next
-			if taken = append(taken, s.Allocations[0].SteeredAt); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < spell {
+			if taken = append(taken, s.Allocations[0].SteeredAt); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < minSteerIntervalMs {
 				t.Fatalf("steered at %v", taken)
 			}
 		}
 	})
 }
 
-func TestVerdict(t *testing.T) {
+func TestEvaluateObjective(t *testing.T) {
 	cfg := DefaultConfig()
 	for _, tt := range []struct {
 		all, over, quantile float64
 		members             int
 		want                verdict
 	}{
-		{0, 0, 0.95, 9, unknown}, {20, 0, 0.95, 9, unknown}, {75, 0, 0.95, 9, unknown}, {76, 0, 0.95, 9, keeps},
-		{380, 0, 0.99, 9, unknown}, {397, 0, 0.99, 9, keeps}, {4, 2, 0.95, 9, breaks}, {20, 2, 0.95, 9, unknown},
-		{1000, 50, 0.95, 9, unknown}, {1000, 70, 0.95, 9, breaks}, {1000, 30, 0.95, 9, keeps}, {1000, 999, 0.95, 1, unknown},
+		{0, 0, 0.95, 9, unknown}, {20, 0, 0.95, 9, unknown}, {75, 0, 0.95, 9, unknown}, {76, 0, 0.95, 9, meets},
+		{380, 0, 0.99, 9, unknown}, {397, 0, 0.99, 9, meets}, {4, 2, 0.95, 9, breaches}, {20, 2, 0.95, 9, unknown},
+		{1000, 50, 0.95, 9, unknown}, {1000, 70, 0.95, 9, breaches}, {1000, 30, 0.95, 9, meets}, {1000, 999, 0.95, 1, unknown},
 	} {
-		if got := judge(&cfg, Guards{}, tt.all, tt.over, tt.quantile, tt.members); got != tt.want {
+		if got := evaluateObjective(&cfg, Guards{}, tt.all, tt.over, tt.quantile, tt.members); got != tt.want {
 			t.Errorf("%v of %v over, %d members: %v, want %v", tt.over, tt.all, tt.members, got, tt.want)
 		}
 	}
--- a/internal/fleet/slo/steer.go
+++ b/internal/fleet/slo/steer.go
@@ -20,26 +20,26 @@
 // Steer judges what was seen and decides where contracts go. It is not safe for concurrent
 // use.
 type Controller struct {
-	cfg            Config
-	version        uint64
-	taken          int64         // the last part that was taken
-	period         time.Duration // when the last moves were proposed
-	tracks         map[string]*track
-	pools          map[kind][]pool
-	cache          map[bound]count
-	DisabledGuards Guards
+	cfg              Config
+	contractsVersion uint64
+	lastObserved     int64         // the last part that was taken
+	lastMoveAt       time.Duration // when the last moves were proposed
+	contracts        map[string]*contractState
+	pools            map[regionKind][]pooledHistogram
+	pooledCounts     map[pooledKey]responseCount
+	DisabledGuards   Guards
 }
 
 // NewSteer returns one that has seen nothing: it goes on from the record's State.
 func NewController(cfg Config) *Controller {
-	return &Controller{cfg: cfg, pools: map[kind][]pool{}, cache: map[bound]count{}}
+	return &Controller{cfg: cfg, pools: map[regionKind][]pooledHistogram{}, pooledCounts: map[pooledKey]responseCount{}}
 }
 
 // mostSteers is how long what one entry steers may be, in bytes of JSON and reckoned
 // amply; the others follow with the next.
-const mostSteers = 200_000
+const maxAllocationsBytes = 200_000
 
-func (a *Allocation) size() int {
+func (a *Allocation) encodedSize() int {
 	n := 120 + len(a.Contract) + len(a.UnmetReason)
 	for zone := range a.Shares {
 		n += len(zone) + 10
@@ -53,17 +53,17 @@
 // alone, so that a new leader goes on where the last one was.
 func (st *Controller) Evaluate(now time.Duration, s State, seen []Observation, regions []Region, demand map[string]float64) (c Change, why string, ok bool) {
 	st.Observe(s, seen)
-	clear(st.cache)
-	slot := st.cfg.slot(now)
-	if st.period == 0 || st.period > now { // the last leader may have moved some just now
-		st.period = now
-	}
-	open := now-st.period >= st.cfg.MoveInterval
-	places := st.places(regions)
-	wants := make([]*want, 0, len(s.Contracts))
+	clear(st.pooledCounts)
+	slot := st.cfg.interval(now)
+	if st.lastMoveAt == 0 || st.lastMoveAt > now { // the last leader may have moved some just now
+		st.lastMoveAt = now
+	}
+	open := now-st.lastMoveAt >= st.cfg.MoveInterval
+	places := st.regionCapacities(regions)
+	wants := make([]*placement, 0, len(s.Contracts))
 	for i := range s.Contracts {
-		w := st.want(now, slot, s, &s.Contracts[i], places, demand)
-		w.due = w.due && open
+		w := st.newPlacement(now, slot, s, &s.Contracts[i], places, demand)
+		w.isDue = w.isDue && open
 		wants = append(wants, w)
 	}
 	st.allocate(wants, places)
@@ -71,20 +71,20 @@
 
 	c = Change{BaseVersion: s.Version, BaseAllocationVersion: s.AllocationVersion}
 	moved, explored, unkept, size := 0, 0, 0, 0
-	slices.SortStableFunc(wants, func(a, b *want) int { return cmp.Compare(a.contract.Priority, b.contract.Priority) })
+	slices.SortStableFunc(wants, func(a, b *placement) int { return cmp.Compare(a.contract.Priority, b.contract.Priority) })
 	for _, w := range wants {
-		a, changed := st.outcome(now, s, w, places)
+		a, changed := st.proposedAllocation(now, s, w, places)
 		if !changed {
 			continue
 		}
-		if size += a.size(); size > mostSteers {
+		if size += a.encodedSize(); size > maxAllocationsBytes {
 			break
 		}
 		c.Allocations = append(c.Allocations, a)
-		if w.moved > 0 && w.due {
-			st.period = now
+		if w.moved > 0 && w.isDue {
+			st.lastMoveAt = now
 		}
-		if w.explored != "" {
+		if w.exploredRegion != "" {
 			explored++
 		} else if w.moved > 0 {
 			moved++
@@ -99,7 +99,7 @@
 	return c, fmt.Sprintf("%d contracts moved, %d explore, %d of these can't be kept", moved, explored, unkept), true
 }
 
-func positive(x float64) float64 {
+func nonNegative(x float64) float64 {
 	if x > 0 && x <= 1e12 {
 		return x
 	}
@@ -107,60 +107,60 @@
 }
 
 // places returns the regions by name, empty but for what is served under no contract.
-func (st *Controller) places(regions []Region) []place {
-	of := map[string]place{}
+func (st *Controller) regionCapacities(regions []Region) []regionCapacity {
+	of := map[string]regionCapacity{}
 	for _, r := range regions {
-		if len(of) >= mostZones || !word(r.Name, 64) {
+		if len(of) >= maxZones || !isValidName(r.Name, 64) {
 			continue
 		}
-		usable := min(positive(r.UsableFraction), 1)
-		p := place{name: r.Name, usable: usable > 0, all: positive(r.Capacity) * usable}
-		p.room = p.all - positive(r.OtherTraffic)
-		p.fill, p.inflow = p.all*st.cfg.MaxUtilization-positive(r.OtherTraffic), p.all*st.cfg.MaxInflowFraction
+		usable := min(nonNegative(r.UsableFraction), 1)
+		p := regionCapacity{name: r.Name, usable: usable > 0, capacity: nonNegative(r.Capacity) * usable}
+		p.spare = p.capacity - nonNegative(r.OtherTraffic)
+		p.headroom, p.inflowLeft = p.capacity*st.cfg.MaxUtilization-nonNegative(r.OtherTraffic), p.capacity*st.cfg.MaxInflowFraction
 		if r.Load > 1 { // its figure is too great, or others fill it
-			p.fill, p.inflow = 0, 0
+			p.headroom, p.inflowLeft = 0, 0
 		}
 		of[r.Name] = p
 	}
-	return slices.SortedFunc(maps.Values(of), func(a, b place) int { return cmp.Compare(a.name, b.name) })
+	return slices.SortedFunc(maps.Values(of), func(a, b regionCapacity) int { return cmp.Compare(a.name, b.name) })
 }
 
 // want says what a contract has and what it sees.
-func (st *Controller) want(now time.Duration, slot int64, s State, c *Contract, places []place, demand map[string]float64) *want {
-	t := st.tracks[c.Name]
-	t.turn(&st.cfg, max(slot-st.lag(), 0))
-	w := &want{contract: c, unit: positive(demand[c.Name]) / mille, free: true, due: true, burning: t.burning(),
-		cur: make([]int, len(places)), views: make([]view, len(places)), allowed: make([]bool, len(places))}
+func (st *Controller) newPlacement(now time.Duration, slot int64, s State, c *Contract, places []regionCapacity, demand map[string]float64) *placement {
+	t := st.contracts[c.Name]
+	t.closeWindow(&st.cfg, max(slot-st.mergeLag(), 0))
+	w := &placement{contract: c, ratePerThousandth: nonNegative(demand[c.Name]) / thousandths, maySteer: true, isDue: true, isBurning: t.isBurning(),
+		current: make([]int, len(places)), regionViews: make([]regionView, len(places)), allowed: make([]bool, len(places))}
 	a, steered := s.Allocation(c.Name)
 	weights := make([]float64, len(places))
 	for i, p := range places {
 		w.allowed[i] = len(c.Zones) == 0 || slices.Contains(c.Zones, p.name)
 		if w.allowed[i] {
-			weights[i] = p.all
-			w.views[i] = st.look(t, p.name, slot)
-			w.views[i].ripe = st.ripe(now, t, p.name, w.views[i].verdict)
+			weights[i] = p.capacity
+			w.regionViews[i] = st.viewRegion(t, p.name, slot)
+			w.regionViews[i].breachConfirmed = st.isBreachConfirmed(now, t, p.name, w.regionViews[i].verdict)
 		}
-		w.cur[i], _ = round(a.Shares[p.name])
+		w.current[i], _ = toThousandths(a.Shares[p.name])
 	}
 	if !steered {
-		w.cur = spread(mille, st.drawn(t, slot, places, weights))
+		w.current = apportion(thousandths, st.initialWeights(t, slot, places, weights))
 		return w
 	}
 	ms := now.Milliseconds()
-	w.lastUnkept = a.UnmetReason
-	w.free = a.PreviouslySteeredAt == 0 || ms >= a.PreviouslySteeredAt+spell
-	w.due = ms >= a.SteeredAt+st.cfg.MoveInterval.Milliseconds()
+	w.lastUnmetReason = a.UnmetReason
+	w.maySteer = a.PreviouslySteeredAt == 0 || ms >= a.PreviouslySteeredAt+minSteerIntervalMs
+	w.isDue = ms >= a.SteeredAt+st.cfg.MoveInterval.Milliseconds()
 	return w
 }
 
 // drawn are the weights by which a contract that was never steered is spread: as it was
 // measured or, where that is too little, by what the regions bear, as the module draws
 // evenly among the servers that it may use.
-func (st *Controller) drawn(t *track, slot int64, places []place, bears []float64) []float64 {
+func (st *Controller) initialWeights(t *contractState, slot int64, places []regionCapacity, bears []float64) []float64 {
 	measured, sum := make([]float64, len(places)), 0.0
 	for r, p := range places {
 		if bears[r] > 0 {
-			measured[r], _, _ = t.regions[p.name].sum(st.since(slot))
+			measured[r], _, _ = t.regions[p.name].sum(st.firstEvidenceInterval(slot))
 			sum += measured[r]
 		}
 	}
@@ -171,67 +171,67 @@
 }
 
 // ripe tells whether a region has broken a promise for longer than the patience.
-func (st *Controller) ripe(now time.Duration, t *track, region string, v verdict) bool {
-	if v != breaks {
-		delete(t.broken, region)
+func (st *Controller) isBreachConfirmed(now time.Duration, t *contractState, region string, v verdict) bool {
+	if v != breaches {
+		delete(t.breachedSince, region)
 		return false
 	}
-	if t.broken == nil {
-		t.broken = map[string]time.Duration{}
+	if t.breachedSince == nil {
+		t.breachedSince = map[string]time.Duration{}
 	}
-	since, ok := t.broken[region]
+	since, ok := t.breachedSince[region]
 	if !ok {
 		since = now
-		t.broken[region] = now
+		t.breachedSince[region] = now
 	}
 	return now-since >= st.cfg.MinBreachInterval || st.DisabledGuards.Hysteresis
 }
 
 const (
-	leastMove = 5  // thousandths: less is not worth an entry
-	leastOver = 20 // so much more or less that has no room is told
+	minMoveThousandths     = 5  // thousandths: less is not worth an entry
+	minOverflowThousandths = 20 // so much more or less that has no room is told
 )
 
 // outcome is what the record is to hold of a contract, and whether that is news.
-func (st *Controller) outcome(now time.Duration, s State, w *want, places []place) (Allocation, bool) {
-	t := st.tracks[w.contract.Name]
+func (st *Controller) proposedAllocation(now time.Duration, s State, w *placement, places []regionCapacity) (Allocation, bool) {
+	t := st.contracts[w.contract.Name]
 	old, _ := s.Allocation(w.contract.Name)
 	over, moved, shares := 0, 0, make(map[string]float64, len(places))
 	for r, p := range places {
-		k := w.next[r] + w.over[r]
-		over += w.over[r]
-		if moved += max(k-w.cur[r], 0); k > 0 {
-			shares[p.name] = float64(k) / mille
+		k := w.next[r] + w.overflow[r]
+		over += w.overflow[r]
+		if moved += max(k-w.current[r], 0); k > 0 {
+			shares[p.name] = float64(k) / thousandths
 		}
 	}
-	a := Allocation{Contract: w.contract.Name, Shares: shares, Overflow: float64(over) / mille, UnmetReason: st.unkept(now, t, w)}
-	was, _ := round(old.Overflow)
-	news := moved >= leastMove || (a.UnmetReason == "") != (old.UnmetReason == "") || max(over-was, was-over) >= leastOver || over == 0 && was > 0
+	a := Allocation{Contract: w.contract.Name, Shares: shares, Overflow: float64(over) / thousandths, UnmetReason: st.currentUnmetReason(now, t, w)}
+	was, _ := toThousandths(old.Overflow)
+	news := moved >= minMoveThousandths || (a.UnmetReason == "") != (old.UnmetReason == "") || max(over-was, was-over) >= minOverflowThousandths || over == 0 && was > 0
 	sum := 0
 	for r := range places {
-		sum += w.next[r] + w.over[r]
+		sum += w.next[r] + w.overflow[r]
 	}
-	return a, news && w.free && sum == mille
+	return a, news && w.maySteer && sum == thousandths
 }
 
 // unkept says why a contract can't be kept: what is so for longer than the patience. It
 // is taken back when its budget is no longer spent.
-func (st *Controller) unkept(now time.Duration, t *track, w *want) string {
-	if w.why == "" && !w.due { // not asked to move, so nothing is known of it
-		return w.lastUnkept
-	}
-	if w.why == "" {
-		t.stuck = 0
-		if w.burning {
-			return w.lastUnkept
+func (st *Controller) currentUnmetReason(now time.Duration, t *contractState, w *placement) string {
+	if w.unmetReason == "" && !w.isDue { // not asked to move, so nothing is known of it
+		return w.lastUnmetReason
+	}
+	if w.unmetReason == "" {
+		t.unmetSince = 0
+		if w.isBurning {
+			return w.lastUnmetReason
 		}
 		return ""
 	}
-	if t.stuck == 0 {
-		t.stuck = now
+	if t.unmetSince == 0 {
+		t.unmetSince = now
 	}
-	if w.lastUnkept == "" && now-t.stuck < st.cfg.MinBreachInterval {
+	if w.lastUnmetReason == "" && now-t.unmetSince < st.cfg.MinBreachInterval {
 		return ""
 	}
-	return w.why
+	return w.unmetReason
 }
--- a/internal/fleet/slo/types.go
+++ b/internal/fleet/slo/types.go
@@ -36,37 +36,37 @@
 }
 
 const (
-	mostContracts = 4096
-	mostZones     = 64
-	mille         = 1000
+	maxContracts = 4096
+	maxZones     = 64
+	thousandths  = 1000
 )
 
-func word(s string, most int) bool { return s != "" && len(s) <= most }
+func isValidName(s string, most int) bool { return s != "" && len(s) <= most }
 
 // check names the field that makes a contract one that can't be held to.
-func (c *Contract) check() error {
+func (c *Contract) validate() error {
 	between := func(x, least, most float64) bool { return x >= least && x <= most }
 	bad := ""
 	switch {
-	case !word(c.Name, 64):
+	case !isValidName(c.Name, 64):
 		bad = "name: 1 to 64 bytes"
-	case !word(c.Holder, 256):
+	case !isValidName(c.Holder, 256):
 		bad = "holder: 1 to 256 bytes"
 	case !between(c.Quantile, 0.5, 0.9999):
 		bad = "quantile: 0.5 to 0.9999"
-	case c.Objective < time.Millisecond || c.Objective > longest || c.Objective%time.Millisecond != 0:
-		bad = fmt.Sprint("bound: whole milliseconds up to ", longest)
+	case c.Objective < time.Millisecond || c.Objective > maxResponseTime || c.Objective%time.Millisecond != 0:
+		bad = fmt.Sprint("bound: whole milliseconds up to ", maxResponseTime)
 	case c.Window < 5*time.Second || c.Window > 10*time.Minute:
 		bad = "window: 5s to 10m"
 	case !between(c.Target, 0.5, 0.9999):
 		bad = "share: 0.5 to 0.9999, as a promise without an exception is broken by the first"
 	case c.Priority < 0 || c.Priority > 1000:
 		bad = "priority: 0 to 1000"
-	case len(c.Zones) > mostZones:
-		bad = fmt.Sprintf("zones: %d, at most %d", len(c.Zones), mostZones)
+	case len(c.Zones) > maxZones:
+		bad = fmt.Sprintf("zones: %d, at most %d", len(c.Zones), maxZones)
 	}
 	for i, z := range c.Zones {
-		if !word(z, 64) || i > 0 && c.Zones[i-1] >= z {
+		if !isValidName(z, 64) || i > 0 && c.Zones[i-1] >= z {
 			bad = fmt.Sprintf("zones: %.64q: names of 1 to 64 bytes, sorted, each once", z)
 		}
 	}
--- a/internal/fleet/slo/verdict.go
+++ b/internal/fleet/slo/verdict.go
@@ -7,18 +7,18 @@
 
 const (
 	unknown verdict = iota
-	keeps
-	breaks
+	meets
+	breaches
 )
 
 // leastMembers is whose measurements a verdict needs: one member's word, true or not, is
 // none.
-const leastMembers = 2
+const minMembers = 2
 
 // wilson bounds the true share of which good of all is a sample, z standard deviations to
 // both sides (Wilson, 1927). Unlike the plain normal bound it holds for shares near 1, where
 // quantiles lie, and for few samples.
-func wilson(good, all, z float64) (least, most float64) {
+func wilsonInterval(good, all, z float64) (least, most float64) {
 	if all <= 0 {
 		return 0, 1
 	}
@@ -28,48 +28,48 @@
 }
 
 // judge tells what a sample says of the promise that quantile of all is within the bound.
-func judge(c *Config, g Guards, all, over, quantile float64, members int) verdict {
+func evaluateObjective(c *Config, g Guards, all, over, quantile float64, members int) verdict {
 	z := c.ZScore
 	if g.Confidence {
-		z, members = 0, leastMembers
+		z, members = 0, minMembers
 	}
-	least, most := wilson(all-over, all, z)
+	least, most := wilsonInterval(all-over, all, z)
 	switch {
-	case members < leastMembers || all <= 0:
+	case members < minMembers || all <= 0:
 		return unknown
 	case least >= quantile:
-		return keeps
+		return meets
 	case most < quantile:
-		return breaks
+		return breaches
 	}
 	return unknown
 }
 
 // view is how a contract sees a region.
-type view struct {
-	verdict verdict
-	score   float64 // share within the bound
-	roomy   bool    // keeps the promise by the margin: it may be moved to
-	ripe    bool    // breaks it for longer than the patience: it may be left
+type regionView struct {
+	verdict         verdict
+	score           float64 // share within the bound
+	hasMargin       bool    // keeps the promise by the margin: it may be moved to
+	breachConfirmed bool    // breaks it for longer than the patience: it may be left
 }
 
 // look judges a region for a contract by the contract's own samples or, where these are no
 // verdict, by those of all contracts there: the same feed servers serve them.
-func (st *Controller) look(t *track, region string, slot int64) view {
+func (st *Controller) viewRegion(t *contractState, region string, slot int64) regionView {
 	c, k := &st.cfg, &t.contract
 	tight := 1 - (1-k.Quantile)*(1-c.BudgetMargin)
 	if st.DisabledGuards.Hysteresis {
 		tight = k.Quantile
 	}
-	all, over, members := t.regions[region].sum(st.since(slot))
-	pooled, missed, others := st.pooled(region, k, slot)
-	if judge(c, st.DisabledGuards, all, over, k.Quantile, members) == unknown && !(st.DisabledGuards.Confidence && all > 0) {
+	all, over, members := t.regions[region].sum(st.firstEvidenceInterval(slot))
+	pooled, missed, others := st.pooledCount(region, k, slot)
+	if evaluateObjective(c, st.DisabledGuards, all, over, k.Quantile, members) == unknown && !(st.DisabledGuards.Confidence && all > 0) {
 		all, over, members = pooled, missed, others
 	}
-	v := view{verdict: judge(c, st.DisabledGuards, all, over, k.Quantile, members)}
+	v := regionView{verdict: evaluateObjective(c, st.DisabledGuards, all, over, k.Quantile, members)}
 	if all > 0 {
 		v.score = 1 - over/all
 	}
-	v.roomy = v.verdict == keeps && judge(c, st.DisabledGuards, all, over, tight, members) == keeps
+	v.hasMargin = v.verdict == meets && evaluateObjective(c, st.DisabledGuards, all, over, tight, members) == meets
 	return v
 }
