--- a/cmd/coralrelay/fleet.go
+++ b/cmd/coralrelay/fleet.go
@@ -22,8 +22,8 @@
 	lost := func(err error) {
 		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
 	}
-	l := &agentapi.Client{Addr: f.Agent, MakeReport: func() agentapi.Report { return agentapi.Report{QuotaUsage: core.Spending()} },
-		HandleResponse: func(t agentapi.Response) { core.Grant(t.QuotaLease) }, OnDisconnect: lost}
+	l := &agentapi.Client{Addr: f.Agent, MakeReport: func() agentapi.Report { return agentapi.Report{QuotaUsage: core.QuotaUsage()} },
+		HandleResponse: func(t agentapi.Response) { core.ApplyQuotaLease(t.QuotaLease) }, OnDisconnect: lost}
 	if f.ReplicatedLog.IsEnabled() {
 		r, err := newRoutes(core, f.AllocationConfig())
 		if err != nil {
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -100,7 +100,7 @@
 		go core.Run(ctx)
 
 		exchange := func() {
-			said := agentapi.Report{QuotaUsage: core.Spending()}
+			said := agentapi.Report{QuotaUsage: core.QuotaUsage()}
 			node.say(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
--- a/internal/dispatch/branches.go
+++ b/internal/dispatch/branches.go
@@ -9,45 +9,45 @@
 )
 
 // homeAgain is the pause before a next hop is offered once more what it held.
-const homeAgain = 100 * time.Millisecond
+const reattachInterval = 100 * time.Millisecond
 
 // BranchUp is told when a branch is up, and what it carries is the front's.
-func (c *EventLoop) AttemptEstablished(item Placement, attempt int, server string, latency time.Duration) {
-	c.post(func() {
-		e := c.known(item)
-		if e == nil {
+func (l *EventLoop) AttemptEstablished(placement Placement, attempt int, server string, latency time.Duration) {
+	l.post(func() {
+		active := l.lookup(placement)
+		if active == nil {
 			return
 		}
-		e.open = true
-		e.trace.word("up")
-		if e.asked.CurrentServer != "" {
-			c.handle(balance.OpenConnection{Request: c.request(e), Server: server})
+		active.established = true
+		active.trace.attemptStatus("up")
+		if active.request.CurrentServer != "" {
+			l.handle(balance.OpenConnection{Request: l.moduleRequest(active), Server: server})
 		} else {
-			c.timed(e, server, balance.OK, latency)
-			c.handle(balance.ConnectionEstablished{ID: e.asked.ID, Attempt: attempt, Server: server, Latency: latency})
+			l.observeAttempt(active, server, balance.OK, latency)
+			l.handle(balance.ConnectionEstablished{ID: active.request.ID, Attempt: attempt, Server: server, Latency: latency})
 		}
-		if e.early != nil {
-			e.early()
+		if active.pendingEnd != nil {
+			active.pendingEnd()
 		}
 	})
 }
 
 // BranchEnded is told when a branch has ended without coming up. Its socket is
 // closed by then.
-func (c *EventLoop) AttemptEnded(item Placement, attempt int, server string, outcome balance.Outcome,
+func (l *EventLoop) AttemptEnded(placement Placement, attempt int, server string, outcome balance.Outcome,
 	latency time.Duration, load balance.LoadReport) {
-	c.post(func() {
-		e := c.known(item)
-		if e != nil {
-			e.trace.word(outcomes[outcome])
+	l.post(func() {
+		active := l.lookup(placement)
+		if active != nil {
+			active.trace.attemptStatus(outcomeNames[outcome])
 		}
 		switch {
-		case e == nil:
-		case e.asked.CurrentServer != "":
-			c.backHome(e, server, outcome)
+		case active == nil:
+		case active.request.CurrentServer != "":
+			l.retryReattach(active, server, outcome)
 		default:
-			c.timed(e, server, outcome, latency)
-			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: attempt, Server: server, Outcome: outcome,
+			l.observeAttempt(active, server, outcome, latency)
+			l.handle(balance.AttemptEnded{ID: active.request.ID, Attempt: attempt, Server: server, Outcome: outcome,
 				Latency: latency, LoadReport: load})
 		}
 	})
@@ -58,24 +58,24 @@
 // it: it is offered again while that is harmless and there is time, as the node
 // may know its next hop only a moment later, or too many came home at once. Once the
 // roster has answered and doesn't name it, nobody can take it back.
-func (c *EventLoop) backHome(e *entry, server string, outcome balance.Outcome) {
-	next := time.Now().Add(homeAgain)
-	gone := c.listed != nil && !c.listed[server]
-	if gone || outcome != balance.ConnectFailed && outcome != balance.AtCapacity || !next.Before(e.asked.Deadline) {
-		c.drop(e.asked.ID, "failed")
-		e.item.Fail()
+func (l *EventLoop) retryReattach(active *activePlacement, server string, outcome balance.Outcome) {
+	retryAt := time.Now().Add(reattachInterval)
+	unlisted := l.listedServers != nil && !l.listedServers[server]
+	if unlisted || outcome != balance.ConnectFailed && outcome != balance.AtCapacity || !retryAt.Before(active.request.Deadline) {
+		l.remove(active.request.ID, "failed")
+		active.placement.Fail()
 		return
 	}
-	c.timers.set(next, func() {
-		if c.known(e.item) == e {
-			e.branches.StartAttempt(e.item, 0, server, e.asked.Deadline)
+	l.timers.schedule(retryAt, func() {
+		if l.lookup(active.placement) == active {
+			active.starter.StartAttempt(active.placement, 0, server, active.request.Deadline)
 		}
 	})
 }
 
 // Probed is told a probe's result.
-func (c *EventLoop) ProbeEnded(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport) {
-	c.post(func() {
-		c.handle(balance.ProbeResult{Server: server, Outcome: outcome, Latency: latency, LoadReport: load})
+func (l *EventLoop) ProbeEnded(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport) {
+	l.post(func() {
+		l.handle(balance.ProbeResult{Server: server, Outcome: outcome, Latency: latency, LoadReport: load})
 	})
 }
--- a/internal/dispatch/decide.go
+++ b/internal/dispatch/decide.go
@@ -15,7 +15,7 @@
 )
 
 // looks is how old the module's word on what it avoids may be.
-const looks = 200 * time.Millisecond
+const avoidedRefreshInterval = 200 * time.Millisecond
 
 // Prober asks next hops for their load. Probe returns at once; the answer is told
 // to the Core by Probed.
@@ -28,162 +28,162 @@
 type EventLoop struct {
 	Router Router // nil where there are no routes; set before Run
 
-	clock    Clock
-	balancer *balance.Balancer
-	prober   Prober
-	roster   Discovery
-	inbox    chan func()
-	done     chan struct{}
-	bad      logging.Throttled
-	avoided  atomic.Int64 // next hops that the module avoids, by its last word
+	clock          Clock
+	balancer       *balance.Balancer
+	prober         Prober
+	discovery      Discovery
+	inbox          chan func()
+	done           chan struct{}
+	rejectedLog    logging.Throttled
+	avoidedServers atomic.Int64 // next hops that the module avoids, by its last word
 
 	// What follows belongs to Run's goroutine.
-	classes      map[string]bool
-	listed       map[string]bool // next hops that the roster names; nil until it has answered
-	transactions map[string]*entry
-	timers       timers
-	actions      []balance.Action
-	timer        func(contract, server string, took time.Duration) // nil for none
+	knownClasses    map[string]bool
+	listedServers   map[string]bool // next hops that the roster names; nil until it has answered
+	placements      map[string]*activePlacement
+	timers          timerHeap
+	actions         []balance.Action
+	attemptObserver func(contract, server string, took time.Duration) // nil for none
 }
 
 // entry is what the Core keeps of a transaction.
-type entry struct {
-	item     Placement
-	asked    *Request
-	branches AttemptStarter // of the front that brought it
-	server   string         // of its latest branch
-	attempts int
-	open     bool
-	early    func()                  // its end, told before its start
-	route    *route.Route            // that it counts on; nil for none
-	bound    *balance.ZoneConstraint // and where it may be drawn by it
-	trace    *trace                  // nil where nobody reads it
+type activePlacement struct {
+	placement    Placement
+	request      *Request
+	starter      AttemptStarter // of the front that brought it
+	server       string         // of its latest branch
+	attemptCount int
+	established  bool
+	pendingEnd   func()                  // its end, told before its start
+	route        *route.Route            // that it counts on; nil for none
+	constraint   *balance.ZoneConstraint // and where it may be drawn by it
+	trace        *trace                  // nil where nobody reads it
 }
 
 // New returns a Core for settings; Run starts it.
-func New(clock Clock, seed uint64, set balance.Settings, p Prober, r Discovery) (*EventLoop, error) {
-	balancer, err := balance.New(seed, set)
+func New(clock Clock, seed uint64, settings balance.Settings, prober Prober, discovery Discovery) (*EventLoop, error) {
+	balancer, err := balance.New(seed, settings)
 	if err != nil {
 		return nil, err
 	}
-	return &EventLoop{clock: clock, balancer: balancer, prober: p, roster: r,
+	return &EventLoop{clock: clock, balancer: balancer, prober: prober, discovery: discovery,
 		inbox: make(chan func(), 1024), done: make(chan struct{}),
-		classes: names(set.Classes), transactions: map[string]*entry{}}, nil
+		knownClasses: classNames(settings.Classes), placements: map[string]*activePlacement{}}, nil
 }
 
-func names(classes []balance.Class) map[string]bool {
-	n := map[string]bool{}
+func classNames(classes []balance.Class) map[string]bool {
+	known := map[string]bool{}
 	for _, class := range classes {
-		n[class.Name] = true
+		known[class.Name] = true
 	}
-	return n
+	return known
 }
 
 // Run handles events until ctx ends.
-func (c *EventLoop) Run(ctx context.Context) {
-	defer close(c.done)
+func (l *EventLoop) Run(ctx context.Context) {
+	defer close(l.done)
 	wake := time.NewTimer(0)
 	defer wake.Stop()
-	look := time.NewTicker(looks)
-	defer look.Stop()
+	refresh := time.NewTicker(avoidedRefreshInterval)
+	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-c.inbox:
+		case f := <-l.inbox:
 			f()
 		case <-wake.C:
-		case <-look.C:
-			c.avoided.Store(int64(c.balancer.AvoidedServers()))
+		case <-refresh.C:
+			l.avoidedServers.Store(int64(l.balancer.AvoidedServers()))
 		}
 		for now := time.Now(); ; {
-			do, due := c.timers.due(now)
+			run, due := l.timers.popDue(now)
 			if !due {
 				break
 			}
-			do()
+			run()
 		}
-		if len(c.timers) > 0 {
-			wake.Reset(time.Until(c.timers[0].at))
+		if len(l.timers) > 0 {
+			wake.Reset(time.Until(l.timers[0].dueAt))
 		}
 	}
 }
 
 // post hands f to Run's goroutine.
-func (c *EventLoop) post(f func()) {
+func (l *EventLoop) post(f func()) {
 	select {
-	case c.inbox <- f:
-	case <-c.done:
+	case l.inbox <- f:
+	case <-l.done:
 	}
 }
 
 // handle tells the module an event and does what it answers.
-func (c *EventLoop) handle(ev balance.Event) {
+func (l *EventLoop) handle(event balance.Event) {
 	now := time.Now()
-	c.actions = c.balancer.Handle(c.clock.At(now), ev, c.actions[:0])
-	for _, a := range c.actions {
-		c.do(now, a)
+	l.actions = l.balancer.Handle(l.clock.At(now), event, l.actions[:0])
+	for _, action := range l.actions {
+		l.execute(now, action)
 	}
 }
 
-func (c *EventLoop) do(now time.Time, action balance.Action) {
+func (l *EventLoop) execute(now time.Time, action balance.Action) {
 	switch a := action.(type) {
 	case balance.Attempt:
-		if e := c.transactions[a.ID]; e != nil {
-			deadline := e.asked.Deadline
+		if active := l.placements[a.ID]; active != nil {
+			deadline := active.request.Deadline
 			if a.Timeout > 0 && now.Add(a.Timeout).Before(deadline) {
 				deadline = now.Add(a.Timeout)
 			}
-			e.server = a.Server
-			if e.route != nil && e.attempts > 0 {
-				c.Router.AddUsage(e.route, 1, 0)
+			active.server = a.Server
+			if active.route != nil && active.attemptCount > 0 {
+				l.Router.AddUsage(active.route, 1, 0)
 			}
-			e.trace.branch(a.Server)
-			e.branches.StartAttempt(e.item, e.attempts, a.Server, deadline)
-			e.attempts++
+			active.trace.attemptStarted(a.Server)
+			active.starter.StartAttempt(active.placement, active.attemptCount, a.Server, deadline)
+			active.attemptCount++
 		}
 	case balance.Reject:
-		if e := c.drop(a.ID, "refused"); e != nil {
-			e.item.Reject(a.RetryAfter)
+		if active := l.remove(a.ID, "refused"); active != nil {
+			active.placement.Reject(a.RetryAfter)
 		}
 	case balance.Fail:
-		if e := c.drop(a.ID, "failed"); e != nil {
-			e.item.Fail()
+		if active := l.remove(a.ID, "failed"); active != nil {
+			active.placement.Fail()
 		}
 	case balance.Migrate:
-		if e := c.transactions[a.ID]; e != nil {
-			e.trace.word("moved")
-			e.item.Migrate()
+		if active := l.placements[a.ID]; active != nil {
+			active.trace.attemptStatus("moved")
+			active.placement.Migrate()
 		}
 	case balance.Probe:
-		c.prober.Probe(a.Server)
+		l.prober.Probe(a.Server)
 	case balance.SetTimer:
-		c.timers.set(now.Add(a.Delay), func() { c.handle(balance.TimerFired{Token: a.Token}) })
+		l.timers.schedule(now.Add(a.Delay), func() { l.handle(balance.TimerFired{Token: a.Token}) })
 	case balance.Subscribe:
-		c.roster.Subscribe()
+		l.discovery.Subscribe()
 	case balance.Log:
 		slog.Info("module", "says", a.Text)
 	}
 }
 
 // drop forgets a transaction that is over, for good; how is for the log.
-func (c *EventLoop) drop(id, how string) *entry {
-	e := c.transactions[id]
-	if e == nil {
+func (l *EventLoop) remove(id, ending string) *activePlacement {
+	active := l.placements[id]
+	if active == nil {
 		return nil
 	}
-	if e.route != nil {
-		c.Router.Release(e.route)
+	if active.route != nil {
+		l.Router.Release(active.route)
 	}
-	e.trace.end(e.asked, how)
-	delete(c.transactions, id)
-	return e
+	active.trace.log(active.request, ending)
+	delete(l.placements, id)
+	return active
 }
 
 // known returns the entry of an item, or nil if it is over or another took its id.
-func (c *EventLoop) known(item Placement) *entry {
-	if e := c.transactions[item.PlacementRequest().ID]; e != nil && e.item == item {
-		return e
+func (l *EventLoop) lookup(placement Placement) *activePlacement {
+	if active := l.placements[placement.PlacementRequest().ID]; active != nil && active.placement == placement {
+		return active
 	}
 	return nil
 }
--- a/internal/dispatch/decide_test.go
+++ b/internal/dispatch/decide_test.go
@@ -9,131 +9,131 @@
 	"coralrelay/balance"
 )
 
-const patience = 10 * time.Second // no test waits this long unless it fails
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
 
 // Counted from the start of the process, a server's start an hour ago would be
 // negative: the module would read it as long ago and send a cold server all.
 func TestClockIsUnixTime(t *testing.T) {
-	c := NewClock()
+	clock := NewClock()
 	now := time.Now()
-	if got := c.At(now); got < time.Duration(now.UnixNano())-time.Second || got > time.Duration(now.UnixNano())+time.Second {
+	if got := clock.At(now); got < time.Duration(now.UnixNano())-time.Second || got > time.Duration(now.UnixNano())+time.Second {
 		t.Errorf("now is %v, want Unix time", got)
 	}
-	if got := c.At(now.Add(time.Hour)) - c.At(now); got != time.Hour {
+	if got := clock.At(now.Add(time.Hour)) - clock.At(now); got != time.Hour {
 		t.Errorf("an hour counts %v", got)
 	}
 }
 
 // parties stand in for the next hops and the roster.
-type parties struct {
-	started chan string
-	probed  chan string
-	asked   chan struct{}
+type fakeEndpoints struct {
+	started    chan string
+	probed     chan string
+	subscribed chan struct{}
 }
 
-func (p *parties) StartAttempt(_ Placement, _ int, server string, _ time.Time) {
-	p.started <- server
+func (e *fakeEndpoints) StartAttempt(_ Placement, _ int, server string, _ time.Time) {
+	e.started <- server
 }
-func (p *parties) Probe(server string) { p.probed <- server }
-func (p *parties) Subscribe()          { p.asked <- struct{}{} }
+func (e *fakeEndpoints) Probe(server string) { e.probed <- server }
+func (e *fakeEndpoints) Subscribe()          { e.subscribed <- struct{}{} }
 
-func wait[T any](t *testing.T, c <-chan T) (v T) {
+func receive[T any](t *testing.T, channel <-chan T) (value T) {
 	t.Helper()
 	select {
-	case v = <-c:
-	case <-time.After(patience):
+	case value = <-channel:
+	case <-time.After(testTimeout):
 		t.Fatal("nothing came")
 	}
-	return v
+	return value
 }
 
-func start(t *testing.T) (*EventLoop, *parties) {
+func startWithEndpoints(t *testing.T) (*EventLoop, *fakeEndpoints) {
 	t.Helper()
-	p := &parties{make(chan string, 16), make(chan string, 16), make(chan struct{}, 16)}
-	c := startCore(t, p, p)
-	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
-	return c, p
+	endpoints := &fakeEndpoints{make(chan string, 16), make(chan string, 16), make(chan struct{}, 16)}
+	loop := startLoop(t, endpoints, endpoints)
+	loop.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListCached, Entries: []balance.ServerEntry{{ID: "s1"}, {ID: "s2"}}})
+	return loop, endpoints
 }
 
-func startCore(t testing.TB, p Prober, r Discovery) *EventLoop {
+func startLoop(t testing.TB, prober Prober, discovery Discovery) *EventLoop {
 	t.Helper()
-	c, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, SubscribeRequired: true, SubscribeTimeout: time.Second,
+	loop, err := New(NewClock(), 1, balance.Settings{Instances: 1, Tick: 4 * time.Millisecond, SubscribeRequired: true, SubscribeTimeout: time.Second,
 		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: time.Second}},
 		Rules:   balance.Rules{DrainGrace: time.Second, SlowStartWindow: 20 * time.Second, InitialCapacity: 0.2, OverloadMultiple: 3, OverloadDuration: time.Second},
-		Limits:  balance.Limits{ProbesAllowed: true, MaxAttempts: 3}, LoadReporting: balance.LoadReporting{InProbeResults: true}}, p, r)
+		Limits:  balance.Limits{ProbesAllowed: true, MaxAttempts: 3}, LoadReporting: balance.LoadReporting{InProbeResults: true}}, prober, discovery)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { defer close(ended); c.Run(ctx) }()
+	go func() { defer close(ended); loop.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	return c
+	return loop
 }
 
 // item keeps its final answer.
-type item struct {
+type fakePlacement struct {
 	Request
 	settled sync.Once
 	done    chan struct{}
 }
 
-func (x *item) PlacementRequest() *Request { return &x.Request }
-func (x *item) Reject(time.Duration) bool  { return x.Fail() }
-func (x *item) Migrate()                   {}
-func (x *item) Fail() (first bool) {
-	x.settled.Do(func() { first = true; close(x.done) })
+func (p *fakePlacement) PlacementRequest() *Request { return &p.Request }
+func (p *fakePlacement) Reject(time.Duration) bool  { return p.Fail() }
+func (p *fakePlacement) Migrate()                   {}
+func (p *fakePlacement) Fail() (first bool) {
+	p.settled.Do(func() { first = true; close(p.done) })
 	return first
 }
 
-func submit(c *EventLoop, p *parties, r Request) *item {
-	r.Class, r.Deadline = "feed", time.Now().Add(patience)
-	x := &item{Request: r, done: make(chan struct{})}
-	c.Submit(x, p)
-	return x
+func submit(loop *EventLoop, endpoints *fakeEndpoints, request Request) *fakePlacement {
+	request.Class, request.Deadline = "feed", time.Now().Add(testTimeout)
+	placement := &fakePlacement{Request: request, done: make(chan struct{})}
+	loop.Submit(placement, endpoints)
+	return placement
 }
 
 // A draw is a probe, a failed connection starts the drawing anew elsewhere, and
 // a reset is never sent again: the transaction is answered.
-func TestAttempts(t *testing.T) {
-	c, p := start(t)
-	wait(t, p.asked) // the module asks for the list
+func TestRetriesFailedConnectionElsewhereButNeverAfterReset(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
+	receive(t, endpoints.subscribed) // the module asks for the list
 	load := balance.EmptyLoadReport
 	load.Utilization = 0.1
-	x := submit(c, p, Request{ID: "a"})
-	first := wait(t, p.probed)
-	c.ProbeEnded(first, balance.OK, time.Millisecond, load)
-	if s := wait(t, p.started); s != first {
+	placement := submit(loop, endpoints, Request{ID: "a"})
+	first := receive(t, endpoints.probed)
+	loop.ProbeEnded(first, balance.OK, time.Millisecond, load)
+	if s := receive(t, endpoints.started); s != first {
 		t.Fatalf("probed %s, started at %s", first, s)
 	}
-	c.AttemptEnded(x, 0, first, balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
-	second := wait(t, p.probed)
-	c.ProbeEnded(second, balance.OK, time.Millisecond, load)
-	if s := wait(t, p.started); s == first {
+	loop.AttemptEnded(placement, 0, first, balance.ConnectFailed, time.Millisecond, balance.EmptyLoadReport)
+	second := receive(t, endpoints.probed)
+	loop.ProbeEnded(second, balance.OK, time.Millisecond, load)
+	if s := receive(t, endpoints.started); s == first {
 		t.Fatalf("%s was tried again", s)
 	}
-	c.AttemptEnded(x, 1, second, balance.Reset, time.Millisecond, balance.EmptyLoadReport)
-	wait(t, x.done)
-	if len(p.started) > 0 {
+	loop.AttemptEnded(placement, 1, second, balance.Reset, time.Millisecond, balance.EmptyLoadReport)
+	receive(t, placement.done)
+	if len(endpoints.started) > 0 {
 		t.Error("sent again after a reset")
 	}
 }
 
 // A bound that leaves no next hop is the module's to answer, at once.
-func TestBoundReachesTheModule(t *testing.T) {
-	c, p := start(t)
-	wait(t, submit(c, p, Request{ID: "a", Bound: &balance.ZoneConstraint{Zones: []balance.ZoneShare{{Zone: "far", Share: 1}}}}).done)
-	if len(p.probed) > 0 {
+func TestRejectsAtOnceWhenConstraintAllowsNoEndpoint(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
+	receive(t, submit(loop, endpoints, Request{ID: "a", ZoneConstraint: &balance.ZoneConstraint{Zones: []balance.ZoneShare{{Zone: "far", Share: 1}}}}).done)
+	if len(endpoints.probed) > 0 {
 		t.Error("a next hop was drawn")
 	}
 }
 
 // A second transaction of an id in use is failed, and the first goes on.
-func TestIDInUse(t *testing.T) {
-	c, p := start(t)
-	first := submit(c, p, Request{ID: "a"})
-	wait(t, p.probed)
-	wait(t, submit(c, p, Request{ID: "a"}).done)
+func TestFailsSecondPlacementWithSameID(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
+	first := submit(loop, endpoints, Request{ID: "a"})
+	receive(t, endpoints.probed)
+	receive(t, submit(loop, endpoints, Request{ID: "a"}).done)
 	select {
 	case <-first.done:
 		t.Error("the first was answered too")
@@ -143,47 +143,47 @@
 
 // A connection that its next hop holds already goes there and nowhere else, and
 // is offered again while that is harmless.
-func TestBackHome(t *testing.T) {
-	c, p := start(t)
-	x := submit(c, p, Request{ID: "a", CurrentServer: "s7"})
+func TestReattachRetriesCurrentServerOnly(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
+	placement := submit(loop, endpoints, Request{ID: "a", CurrentServer: "s7"})
 	for range 2 {
-		if s := wait(t, p.started); s != "s7" {
+		if s := receive(t, endpoints.started); s != "s7" {
 			t.Fatalf("started at %s", s)
 		}
-		c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+		loop.AttemptEnded(placement, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	}
-	wait(t, p.started)
-	c.AttemptEnded(x, 0, "s7", balance.Reset, 0, balance.EmptyLoadReport)
-	wait(t, x.done)
+	receive(t, endpoints.started)
+	loop.AttemptEnded(placement, 0, "s7", balance.Reset, 0, balance.EmptyLoadReport)
+	receive(t, placement.done)
 }
 
 // Nobody can take back a connection whose next hop is gone: its caller hears so at
 // once. It was offered again until its deadline, up to 40 s later.
-func TestHomeThatIsGone(t *testing.T) {
-	c, p := start(t)
+func TestReattachFailsOnceServerIsGone(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
 	list := []balance.ServerEntry{{ID: "s1"}, {ID: "s7"}}
-	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
-	x := submit(c, p, Request{ID: "a", CurrentServer: "s7"})
-	wait(t, p.started)
-	c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
-	wait(t, p.started) // it is named: its process may be back in a moment
-	c.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
-	c.AttemptEnded(x, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+	loop.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListFull, Entries: list})
+	placement := submit(loop, endpoints, Request{ID: "a", CurrentServer: "s7"})
+	receive(t, endpoints.started)
+	loop.AttemptEnded(placement, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
+	receive(t, endpoints.started) // it is named: its process may be back in a moment
+	loop.UpdateEndpoints(balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{{ID: "s7", State: balance.Gone}}})
+	loop.AttemptEnded(placement, 0, "s7", balance.ConnectFailed, 0, balance.EmptyLoadReport)
 	select {
-	case <-x.done:
-	case s := <-p.started:
+	case <-placement.done:
+	case s := <-endpoints.started:
 		t.Errorf("offered to %s again, which is gone", s)
 	}
 }
 
 // A connection may end before its branch has said that it stood: the module
 // still hears of both in order, and the id is free again.
-func TestEndToldBeforeItsStart(t *testing.T) {
-	c, p := start(t)
-	x := submit(c, p, Request{ID: "a", CurrentServer: "s1"})
-	wait(t, p.started)
-	c.PlacementEnded(x, balance.OK)
-	c.AttemptEstablished(x, 0, "s1", time.Millisecond)
-	submit(c, p, Request{ID: "a"})
-	wait(t, p.probed)
+func TestAcceptsEndReportedBeforeEstablishment(t *testing.T) {
+	loop, endpoints := startWithEndpoints(t)
+	placement := submit(loop, endpoints, Request{ID: "a", CurrentServer: "s1"})
+	receive(t, endpoints.started)
+	loop.PlacementEnded(placement, balance.OK)
+	loop.AttemptEstablished(placement, 0, "s1", time.Millisecond)
+	submit(loop, endpoints, Request{ID: "a"})
+	receive(t, endpoints.probed)
 }
--- a/internal/dispatch/items.go
+++ b/internal/dispatch/items.go
@@ -11,17 +11,17 @@
 // Request is what a front tells of an item when it brings it. Package handover sends it to
 // another version of the process as JSON, so its keys must not change.
 type Request struct {
-	ID            string                  `json:"ID"`
-	Class         string                  `json:"Class"`
-	Key           string                  `json:"Key"`
-	Group         string                  `json:"Group"`
-	Tenant        string                  `json:"Tenant"` // whose client it is; empty where nobody says
-	CurrentServer string                  `json:"At"`     // the next hop that already holds it; empty if none
-	Hint          float64                 `json:"Hint"`
-	Retry         bool                    `json:"Retry"`
-	Returned      bool                    `json:"Returned"`
-	Bound         *balance.ZoneConstraint `json:"Bound"`    // where it may be drawn; nil for anywhere
-	Deadline      time.Time               `json:"Deadline"` // the final answer must be out by then
+	ID             string                  `json:"ID"`
+	Class          string                  `json:"Class"`
+	Key            string                  `json:"Key"`
+	Group          string                  `json:"Group"`
+	Tenant         string                  `json:"Tenant"` // whose client it is; empty where nobody says
+	CurrentServer  string                  `json:"At"`     // the next hop that already holds it; empty if none
+	Hint           float64                 `json:"Hint"`
+	Retry          bool                    `json:"Retry"`
+	Returned       bool                    `json:"Returned"`
+	ZoneConstraint *balance.ZoneConstraint `json:"Bound"`    // where it may be drawn; nil for anywhere
+	Deadline       time.Time               `json:"Deadline"` // the final answer must be out by then
 }
 
 // Item is what is placed: a line transaction, a flow, a question of another proxy.
@@ -43,94 +43,94 @@
 
 // Submit takes an item, which is then owed one final answer; its attempts are made
 // by b.
-func (c *EventLoop) Submit(item Placement, b AttemptStarter) {
-	c.post(func() {
-		r := item.PlacementRequest()
-		if c.transactions[r.ID] != nil || !c.classes[r.Class] {
+func (l *EventLoop) Submit(placement Placement, starter AttemptStarter) {
+	l.post(func() {
+		request := placement.PlacementRequest()
+		if l.placements[request.ID] != nil || !l.knownClasses[request.Class] {
 			// Ids are new for each connection: a second one would mix up two
 			// transactions in the module. A class that the settings don't name
 			// comes from nobody who may be served.
-			c.bad.Warn("transaction rejected: id in use or class unknown", "id", r.ID, "class", r.Class)
-			item.Fail()
+			l.rejectedLog.Warn("transaction rejected: id in use or class unknown", "id", request.ID, "class", request.Class)
+			placement.Fail()
 			return
 		}
-		e := &entry{item: item, asked: r, branches: b, trace: traced()}
-		c.transactions[r.ID] = e
-		if r.CurrentServer != "" {
+		active := &activePlacement{placement: placement, request: request, starter: starter, trace: newTrace()}
+		l.placements[request.ID] = active
+		if request.CurrentServer != "" {
 			// It runs at that next hop already: there is nothing to decide, and
 			// the module hears of it when it is up.
-			e.server, e.attempts = r.CurrentServer, 1
-			e.trace.branch(r.CurrentServer)
-			c.adopted(e)
-			b.StartAttempt(item, 0, r.CurrentServer, r.Deadline)
+			active.server, active.attemptCount = request.CurrentServer, 1
+			active.trace.attemptStarted(request.CurrentServer)
+			l.adoptRoute(active)
+			starter.StartAttempt(placement, 0, request.CurrentServer, request.Deadline)
 			return
 		}
-		c.admit(e)
+		l.admit(active)
 	})
 }
 
-func (c *EventLoop) request(e *entry) balance.Request {
-	r, bound := e.asked, e.asked.Bound
-	if e.bound != nil {
-		bound = e.bound
+func (l *EventLoop) moduleRequest(active *activePlacement) balance.Request {
+	request, constraint := active.request, active.request.ZoneConstraint
+	if active.constraint != nil {
+		constraint = active.constraint
 	}
-	return balance.Request{ID: r.ID, Class: r.Class, Group: r.Group, LoadHint: r.Hint,
-		ClientRetry: r.Retry, Reconnecting: r.Returned, Deadline: c.clock.At(r.Deadline), Constraint: bound}
+	return balance.Request{ID: request.ID, Class: request.Class, Group: request.Group, LoadHint: request.Hint,
+		ClientRetry: request.Retry, Reconnecting: request.Returned, Deadline: l.clock.At(request.Deadline), Constraint: constraint}
 }
 
 // CallerGone is told when a caller has left before its answer, or was turned away.
-func (c *EventLoop) ClientGone(item Placement) {
-	c.post(func() {
-		if e := c.known(item); e != nil {
-			c.drop(e.asked.ID, "its caller left")
-			c.handle(balance.ClientGone{ID: e.asked.ID})
+func (l *EventLoop) ClientGone(placement Placement) {
+	l.post(func() {
+		if active := l.lookup(placement); active != nil {
+			l.remove(active.request.ID, "its caller left")
+			l.handle(balance.ClientGone{ID: active.request.ID})
 		}
 	})
 }
 
 // Ended is told when what stood has ended: OK if it was served to its end, Reset if
 // its next hop broke off or fell silent, else Cancelled.
-func (c *EventLoop) PlacementEnded(item Placement, outcome balance.Outcome) {
-	c.post(func() {
-		e := c.known(item)
-		if e == nil {
+func (l *EventLoop) PlacementEnded(placement Placement, outcome balance.Outcome) {
+	l.post(func() {
+		active := l.lookup(placement)
+		if active == nil {
 			return
 		}
-		end := func() {
-			c.drop(e.asked.ID, outcomes[outcome])
-			c.handle(balance.AttemptEnded{ID: e.asked.ID, Attempt: e.attempts - 1, Server: e.server,
+		finish := func() {
+			l.remove(active.request.ID, outcomeNames[outcome])
+			l.handle(balance.AttemptEnded{ID: active.request.ID, Attempt: active.attemptCount - 1, Server: active.server,
 				Outcome: outcome, Final: true, LoadReport: balance.EmptyLoadReport})
 		}
-		if !e.open {
+		if !active.established {
 			// A front may have what stands as soon as its next hop says so: it may
 			// end before the branch has said that it stood.
-			e.early = end
+			active.pendingEnd = finish
 			return
 		}
-		end()
+		finish()
 	})
 }
 
 // Adopt takes an item that stands at a server already, and tells whether it does: not
 // if its id is in use here.
-func (c *EventLoop) Adopt(item Placement, server string) bool {
-	taken := make(chan bool, 1)
-	c.post(func() {
-		r := item.PlacementRequest()
-		if c.transactions[r.ID] != nil {
-			taken <- false
+func (l *EventLoop) Adopt(placement Placement, server string) bool {
+	adopted := make(chan bool, 1)
+	l.post(func() {
+		request := placement.PlacementRequest()
+		if l.placements[request.ID] != nil {
+			adopted <- false
 			return
 		}
-		e := &entry{item: item, asked: r, server: server, attempts: 1, open: true}
-		c.transactions[r.ID] = e
-		c.adopted(e)
-		c.handle(balance.OpenConnection{Request: c.request(e), Server: server})
-		taken <- true
+		active := &activePlacement{placement: placement, request: request, server: server, attemptCount: 1, established: true}
+		l.placements[request.ID] = active
+		l.adoptRoute(active)
+		l.handle(balance.OpenConnection{Request: l.moduleRequest(active), Server: server})
+		adopted <- true
 	})
 	select {
-	case yes := <-taken:
-		return yes
-	case <-c.done:
+	case ok := <-adopted:
+		return ok
+	case <-l.done:
 		return false
 	}
 }
--- a/internal/dispatch/module.go
+++ b/internal/dispatch/module.go
@@ -9,37 +9,39 @@
 )
 
 // Retune goes on by other settings, which Settings.Check has passed.
-func (c *EventLoop) UpdateSettings(set balance.Settings) {
-	c.post(func() {
-		c.classes = names(set.Classes)
-		c.handle(balance.SettingsChanged{Settings: set})
+func (l *EventLoop) UpdateSettings(settings balance.Settings) {
+	l.post(func() {
+		l.knownClasses = classNames(settings.Classes)
+		l.handle(balance.SettingsChanged{Settings: settings})
 	})
 }
 
 // Avoided is how many of the listed next hops the module avoided a moment ago. It
 // waits for nobody.
-func (c *EventLoop) AvoidedCount() int { return int(c.avoided.Load()) }
+func (l *EventLoop) AvoidedCount() int { return int(l.avoidedServers.Load()) }
 
 // Recall is what the module has learned, and Learn tells it what another process's has.
-func (c *EventLoop) ExportLearnedState() balance.LearnedState { return ask(c, c.balancer.LearnedState) }
+func (l *EventLoop) ExportLearnedState() balance.LearnedState {
+	return query(l, l.balancer.LearnedState)
+}
 
 // Spending is what the module has spent of the fleet's budgets, and Grant tells it what it
 // may spend.
-func (c *EventLoop) Spending() balance.QuotaUsage { return ask(c, c.balancer.QuotaUsage) }
+func (l *EventLoop) QuotaUsage() balance.QuotaUsage { return query(l, l.balancer.QuotaUsage) }
 
-func (c *EventLoop) Grant(g balance.QuotaLease) { c.post(func() { c.handle(g) }) }
+func (l *EventLoop) ApplyQuotaLease(lease balance.QuotaLease) { l.post(func() { l.handle(lease) }) }
 
 // ask puts a question to the module; the answer is empty once the Core has ended.
-func ask[T any](c *EventLoop, question func(now time.Duration) T) (answer T) {
-	told := make(chan T, 1)
-	c.post(func() { told <- question(c.clock.At(time.Now())) })
+func query[T any](loop *EventLoop, read func(now time.Duration) T) (answer T) {
+	reply := make(chan T, 1)
+	loop.post(func() { reply <- read(loop.clock.At(time.Now())) })
 	select {
-	case answer = <-told:
-	case <-c.done:
+	case answer = <-reply:
+	case <-loop.done:
 	}
 	return answer
 }
 
-func (c *EventLoop) ImportLearnedState(m balance.LearnedState) {
-	c.post(func() { c.handle(balance.InheritedState{LearnedState: m}) })
+func (l *EventLoop) ImportLearnedState(state balance.LearnedState) {
+	l.post(func() { l.handle(balance.InheritedState{LearnedState: state}) })
 }
--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -5,30 +5,30 @@
 import "coralrelay/balance"
 
 // Listed is told what the roster says.
-func (c *EventLoop) UpdateEndpoints(u balance.ListUpdate) {
-	c.post(func() {
-		c.named(u)
-		c.handle(u)
+func (l *EventLoop) UpdateEndpoints(update balance.ListUpdate) {
+	l.post(func() {
+		l.trackListed(update)
+		l.handle(update)
 	})
 }
 
 // named notes which next hops the roster names. What the node had last may be old, and
 // doesn't count.
-func (c *EventLoop) named(u balance.ListUpdate) {
-	switch u.Kind {
+func (l *EventLoop) trackListed(update balance.ListUpdate) {
+	switch update.Kind {
 	case balance.ListFailed, balance.ListCached:
 		return
 	case balance.ListFull:
-		c.listed = map[string]bool{}
+		l.listedServers = map[string]bool{}
 	}
-	if c.listed == nil {
+	if l.listedServers == nil {
 		return // changes to a list that has not come
 	}
-	for _, s := range u.Entries {
-		if s.State == balance.Gone {
-			delete(c.listed, s.ID)
+	for _, entry := range update.Entries {
+		if entry.State == balance.Gone {
+			delete(l.listedServers, entry.ID)
 		} else {
-			c.listed[s.ID] = true
+			l.listedServers[entry.ID] = true
 		}
 	}
 }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -27,39 +27,39 @@
 
 // admit hands a new item to the module. Probes that answer it are for it; of later ones the
 // module does not say for whom they are.
-func (c *EventLoop) admit(e *entry) {
-	if c.Router == nil {
-		c.handle(c.request(e))
+func (l *EventLoop) admit(active *activePlacement) {
+	if l.Router == nil {
+		l.handle(l.moduleRequest(active))
 		return
 	}
-	e.route, e.bound = c.Router.Admit(e.asked)
-	on := e.route // which the answer may drop already
-	c.handle(c.request(e))
-	if on == nil {
+	active.route, active.constraint = l.Router.Admit(active.request)
+	admitted := active.route // which the answer may drop already
+	l.handle(l.moduleRequest(active))
+	if admitted == nil {
 		return
 	}
 	probes := 0
-	for _, a := range c.actions {
-		if _, ok := a.(balance.Probe); ok {
+	for _, action := range l.actions {
+		if _, ok := action.(balance.Probe); ok {
 			probes++
 		}
 	}
 	if probes > 0 {
-		c.Router.AddUsage(on, 0, probes)
+		l.Router.AddUsage(admitted, 0, probes)
 	}
 }
 
-func (c *EventLoop) adopted(e *entry) {
-	if c.Router != nil {
-		e.route, e.bound = c.Router.Adopt(e.asked)
+func (l *EventLoop) adoptRoute(active *activePlacement) {
+	if l.Router != nil {
+		active.route, active.constraint = l.Router.Adopt(active.request)
 	}
 }
 
 // Inside runs f on the Core's goroutine, with the module's time, and waits for it; it does
 // not run once the Core has ended.
-func (c *EventLoop) RunOnLoop(f func(now time.Duration)) {
-	ask(c, func(now time.Duration) struct{} { f(now); return struct{}{} })
+func (l *EventLoop) RunOnLoop(f func(now time.Duration)) {
+	query(l, func(now time.Duration) struct{} { f(now); return struct{}{} })
 }
 
 // Now is the module's time. It is for the Router.
-func (c *EventLoop) Now() time.Duration { return c.clock.At(time.Now()) }
+func (l *EventLoop) Now() time.Duration { return l.clock.At(time.Now()) }
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -7,30 +7,30 @@
 
 // timer is something to do later.
 type timer struct {
-	at time.Time
-	do func()
+	dueAt time.Time
+	run   func()
 }
 
 // timers is a heap of them, the next one first.
-type timers []timer
+type timerHeap []timer
 
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
-func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
-func (t *timers) Pop() any {
+func (t timerHeap) Len() int           { return len(t) }
+func (t timerHeap) Less(i, j int) bool { return t[i].dueAt.Before(t[j].dueAt) }
+func (t timerHeap) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timerHeap) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timerHeap) Pop() any {
 	last := len(*t) - 1
-	x := (*t)[last]
+	popped := (*t)[last]
 	*t = (*t)[:last]
-	return x
+	return popped
 }
 
-func (t *timers) set(at time.Time, do func()) { heap.Push(t, timer{at, do}) }
+func (t *timerHeap) schedule(dueAt time.Time, run func()) { heap.Push(t, timer{dueAt, run}) }
 
 // due takes the first timer off the heap if its time has come.
-func (t *timers) due(now time.Time) (do func(), ok bool) {
-	if len(*t) == 0 || (*t)[0].at.After(now) {
+func (t *timerHeap) popDue(now time.Time) (run func(), ok bool) {
+	if len(*t) == 0 || (*t)[0].dueAt.After(now) {
 		return nil, false
 	}
-	return heap.Pop(t).(timer).do, true
+	return heap.Pop(t).(timer).run, true
 }
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -13,29 +13,29 @@
 
 // One transaction can be followed by its id: its branches in order, where they went, how
 // each ended, and its end. With debug lines off nothing is kept of it.
-func TestTrace(t *testing.T) {
+func TestTraceWritesOneDebugLinePerPlacement(t *testing.T) {
 	var out bytes.Buffer
-	was := slog.Default()
-	t.Cleanup(func() { slog.SetDefault(was); _ = logging.SetLevel("info") })
+	previous := slog.Default()
+	t.Cleanup(func() { slog.SetDefault(previous); _ = logging.SetLevel("info") })
 	logging.Setup(&out, false)
 	for _, level := range []string{"info", "debug"} {
 		if err := logging.SetLevel(level); err != nil {
 			t.Fatal(err)
 		}
-		c, p := start(t)
+		loop, endpoints := startWithEndpoints(t)
 		load := balance.EmptyLoadReport
 		load.Utilization = 0.1
-		x := submit(c, p, Request{ID: "followed"})
-		for attempt, o := range []balance.Outcome{balance.ConnectFailed, balance.Reset} {
-			c.ProbeEnded(wait(t, p.probed), balance.OK, time.Millisecond, load)
-			c.AttemptEnded(x, attempt, wait(t, p.started), o, time.Millisecond, balance.EmptyLoadReport)
+		placement := submit(loop, endpoints, Request{ID: "followed"})
+		for attempt, outcome := range []balance.Outcome{balance.ConnectFailed, balance.Reset} {
+			loop.ProbeEnded(receive(t, endpoints.probed), balance.OK, time.Millisecond, load)
+			loop.AttemptEnded(placement, attempt, receive(t, endpoints.started), outcome, time.Millisecond, balance.EmptyLoadReport)
 		}
-		wait(t, x.done)
-		c.ExportLearnedState() // what was told before it is done
+		receive(t, placement.done)
+		loop.ExportLearnedState() // what was told before it is done
 		var lines []string
-		for _, l := range strings.Split(out.String(), "\n") {
-			if strings.Contains(l, `"followed"`) {
-				lines = append(lines, l)
+		for _, line := range strings.Split(out.String(), "\n") {
+			if strings.Contains(line, `"followed"`) {
+				lines = append(lines, line)
 			}
 		}
 		if level == "info" {
@@ -52,12 +52,12 @@
 }
 
 // What is off costs nothing.
-func BenchmarkTraceOff(b *testing.B) {
+func BenchmarkDisabledTrace(b *testing.B) {
 	b.ReportAllocs()
 	for b.Loop() {
-		t := traced()
-		t.branch("s1")
-		t.word("up")
-		t.end(&Request{}, "ok")
+		t := newTrace()
+		t.attemptStarted("s1")
+		t.attemptStatus("up")
+		t.log(&Request{}, "ok")
 	}
 }
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -27,7 +27,7 @@
 	storedSession = proxy.EstablishedSession{
 		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
-			Bound: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
+			ZoneConstraint: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
 		Server: "s3", FromClient: []byte("are"), FromUpstream: []byte("LOA"), PendingSince: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
 	storedLearnedState = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
 		MeanHint: 0.25, HintSamples: 5, Servers: []balance.LearnedServer{
