--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -10,7 +10,7 @@
 
 // clamp is how many times the median of all members' parts one counts at most: the
 // uneven spread of traffic passes, a false word does not.
-const clamp = 3.0
+const maxMedianMultiple = 3.0
 
 // Token is how many connections this member may send one next hop.
 type TokenGrant struct {
@@ -20,26 +20,26 @@
 
 // Deal returns this member's tokens for the half epoch in which now lies, for every next
 // hop that any member holds for cold, by id.
-func (s *State) Allocate(now time.Duration) (deal []TokenGrant) {
-	holders := s.holders(now)
+func (s *State) Allocate(now time.Duration) (grants []TokenGrant) {
+	leaseHolders := s.leaseHolders(now)
 	cold := map[Endpoint]bool{}
-	for _, name := range holders {
+	for _, name := range leaseHolders {
 		m := s.members[name]
-		for server, u := range m.uses {
+		for server, u := range m.usages {
 			if u.WarmingUp && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
 				cold[server] = true
 			}
 		}
 	}
-	half, _, _ := s.cfg.Period(now)
+	period, _, _ := s.cfg.Period(now)
 	for server := range cold {
-		whole := s.budget(now, half/2, server, holders)
-		deal = append(deal, TokenGrant{server, s.tokens(now, half, whole, server, holders)})
+		budget := s.epochBudget(now, period/2, server, leaseHolders)
+		grants = append(grants, TokenGrant{server, s.ownTokens(now, period, budget, server, leaseHolders)})
 	}
-	slices.SortFunc(deal, func(a, b TokenGrant) int {
+	slices.SortFunc(grants, func(a, b TokenGrant) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
-	return deal
+	return grants
 }
 
 // Zone is the name under which the set-ups into a zone are dealt. No next hop has it: none
@@ -53,65 +53,65 @@
 	if !(rate > 0) {
 		return 0
 	}
-	half, _, _ := s.cfg.Period(now)
-	whole := rounded(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, server, half/2)
-	return s.tokens(now, half, whole, server, s.holders(now))
+	period, _, _ := s.cfg.Period(now)
+	budget := roundBudget(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, server, period/2)
+	return s.ownTokens(now, period, budget, server, s.leaseHolders(now))
 }
 
 // tokens deals a budget: whole in an epoch's first half, and what is known not to
 // have been spent in the second. Who has not reported since the first half's end counts as
 // having spent all that he had.
-func (s *State) tokens(now time.Duration, half int64, whole int, server Endpoint, holders []string) int {
-	first := dealt(whole, server, half/2*2, holders)
-	if half%2 == 0 {
+func (s *State) ownTokens(now time.Duration, period int64, budget int, server Endpoint, leaseHolders []string) int {
+	first := splitTokens(budget, server, period/2*2, leaseHolders)
+	if period%2 == 0 {
 		if s.DisabledGuards.RankedAllocation {
-			return whole
+			return budget
 		}
 		return first[s.self]
 	}
-	left := whole
+	left := budget
 	_, begin, _ := s.cfg.Period(now)
-	for _, name := range holders {
+	for _, name := range leaseHolders {
 		m := s.members[name]
 		spent := first[name]
-		if r := m.report; r != nil && r.Period == half-1 && r.ReportedAt >= begin {
-			spent = m.uses[server].Spent
-		} else if r != nil && r.Period == half {
-			spent = m.uses[server].PriorSpent
+		if r := m.report; r != nil && r.Period == period-1 && r.ReportedAt >= begin {
+			spent = m.usages[server].Spent
+		} else if r != nil && r.Period == period {
+			spent = m.usages[server].PriorSpent
 		}
 		left -= spent
 	}
 	if s.DisabledGuards.RankedAllocation {
 		return max(left, 0)
 	}
-	return dealt(max(left, 0), server, half, holders)[s.self]
+	return splitTokens(max(left, 0), server, period, leaseHolders)[s.self]
 }
 
 // budget is what all may send a server within an epoch: the sum of their parts, none over
 // clamp times the median.
-func (s *State) budget(now time.Duration, epoch int64, server Endpoint, holders []string) int {
-	var parts []float64
-	for _, name := range holders {
+func (s *State) epochBudget(now time.Duration, epoch int64, server Endpoint, leaseHolders []string) int {
+	var demands []float64
+	for _, name := range leaseHolders {
 		if m := s.members[name]; m.report != nil && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
-			if u := m.uses[server]; u.WarmingUp {
-				parts = append(parts, u.Demand)
+			if u := m.usages[server]; u.WarmingUp {
+				demands = append(demands, u.Demand)
 			}
 		}
 	}
-	if len(parts) == 0 {
+	if len(demands) == 0 {
 		return 0
 	}
-	slices.Sort(parts)
-	most := clamp * parts[(len(parts)-1)/2]
+	slices.Sort(demands)
+	maxDemand := maxMedianMultiple * demands[(len(demands)-1)/2]
 	sum := 0.0
-	for _, p := range parts {
-		sum += min(p, most)
+	for _, p := range demands {
+		sum += min(p, maxDemand)
 	}
-	return rounded(sum, server, epoch)
+	return roundBudget(sum, server, epoch)
 }
 
 // rounded is a budget in whole tokens: a fraction becomes one more in as many epochs.
-func rounded(budget float64, server Endpoint, epoch int64) int {
+func roundBudget(budget float64, server Endpoint, epoch int64) int {
 	whole, fraction := math.Modf(budget)
 	if float64(hash(server.ID, uint64(server.StartedAt), uint64(epoch))%1e6)/1e6 < fraction {
 		whole++
@@ -123,20 +123,20 @@
 // who come first by their hash with the server and the half. More tokens never mean fewer
 // for anyone, so that members who reckon with different numbers together spend no more
 // than the greatest of them.
-func dealt(tokens int, server Endpoint, half int64, holders []string) map[string]int {
-	ranked := slices.Clone(holders)
+func splitTokens(tokens int, server Endpoint, period int64, leaseHolders []string) map[string]int {
+	ranked := slices.Clone(leaseHolders)
 	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.StartedAt), uint64(half)),
-			hash(b+"\x00"+server.ID, uint64(server.StartedAt), uint64(half))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.StartedAt), uint64(period)),
+			hash(b+"\x00"+server.ID, uint64(server.StartedAt), uint64(period))), cmp.Compare(a, b))
 	})
-	of := make(map[string]int, len(ranked))
+	tokensByMember := make(map[string]int, len(ranked))
 	for rank, name := range ranked {
-		of[name] = tokens / len(ranked)
+		tokensByMember[name] = tokens / len(ranked)
 		if rank < tokens%len(ranked) {
-			of[name]++
+			tokensByMember[name]++
 		}
 	}
-	return of
+	return tokensByMember
 }
 
 func hash(word string, a, b uint64) uint64 {
--- a/internal/fleet/quota/budget_test.go
+++ b/internal/fleet/quota/budget_test.go
@@ -9,10 +9,10 @@
 // Whatever reports are lost and however the rate changes, all members together spend no more
 // of a zone's rate within an epoch than half of the greatest one makes, and without a rate
 // nothing.
-func TestRateTogether(t *testing.T) {
+func TestRateIsKeptByAllMembersTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
-		w := newWorld(n, cfg)
+		w := newTestFleet(n, cfg)
 		b, prior := ZoneKey("b"), make([]int, n)
 		for range rapid.IntRange(1, 5).Draw(t, "epochs") {
 			spent, most := 0, 0.0
--- a/internal/fleet/quota/retries.go
+++ b/internal/fleet/quota/retries.go
@@ -12,10 +12,10 @@
 	}
 	own, others, n := 0.0, 0.0, 0
 	for name, m := range s.members {
-		if s.holds(now, m) {
+		if s.holdsLease(now, m) {
 			n++
 		}
-		if !s.fresh(now, m) {
+		if !s.hasFreshReport(now, m) {
 			continue
 		}
 		if left := s.cfg.RetryRatio*m.report.FirstAttempts - m.report.Retries; name == s.self {
--- a/internal/fleet/quota/share.go
+++ b/internal/fleet/quota/share.go
@@ -46,14 +46,14 @@
 
 // Half is the number of the half epoch in which now lies, and when it begins and ends.
 // Even halves are the first of their epoch.
-func (c Config) Period(now time.Duration) (half int64, begin, end time.Duration) {
-	length := c.Epoch / 2
-	half = int64(now / length)
-	return half, time.Duration(half) * length, time.Duration(half+1) * length
+func (c Config) Period(now time.Duration) (period int64, begin, end time.Duration) {
+	duration := c.Epoch / 2
+	period = int64(now / duration)
+	return period, time.Duration(period) * duration, time.Duration(period+1) * duration
 }
 
 // mostServers and mostMembers bound what is kept of others' words.
-const mostServers, mostMembers = 4096, 1024
+const maxEndpoints, maxMembers = 4096, 1024
 
 // Guards can be taken out one by one, so that a rig can show that its checks see it.
 type Guards struct {
@@ -94,14 +94,14 @@
 
 // newer tells whether r replaces o: the greater in this order, so that merging is
 // commutative, associative and idempotent.
-func (r *Report) newer(o *Report) bool {
+func (r *Report) isNewerThan(o *Report) bool {
 	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.Seq, o.Seq)) > 0
 }
 
 // sound tells whether a report can be true: it comes from outside.
-func (r *Report) sound() bool {
+func (r *Report) isPlausible() bool {
 	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return r.Member != "" && len(r.Member) <= 64 && len(r.Usages) <= mostServers && good(r.FirstAttempts) && good(r.Retries) &&
+	return r.Member != "" && len(r.Member) <= 64 && len(r.Usages) <= maxEndpoints && good(r.FirstAttempts) && good(r.Retries) &&
 		!slices.ContainsFunc(r.Usages, func(u Usage) bool {
 			return u.ID == "" || !good(u.Demand) || u.Spent < 0 || u.Spent > 1e6 || u.PriorSpent < 0 || u.PriorSpent > 1e6 || !good(u.Attempts) || !good(u.FailedAttempts)
 		})
--- a/internal/fleet/quota/share_test.go
+++ b/internal/fleet/quota/share_test.go
@@ -11,20 +11,20 @@
 
 var cfg = Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: 30 * time.Second, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}
 
-var cold = Endpoint{ID: "s", StartedAt: 7}
+var warmingEndpoint = Endpoint{ID: "s", StartedAt: 7}
 
-const start = 1_000_000 * 1500 * time.Millisecond // an epoch's begin
+const startTime = 1_000_000 * 1500 * time.Millisecond // an epoch's begin
 
 // world is some members, each with a view of its own.
-type world struct {
+type testFleet struct {
 	names  []string
 	states []*State
 	seq    uint64
 	now    time.Duration
 }
 
-func newWorld(n int, c Config) *world {
-	w := &world{now: start}
+func newTestFleet(n int, c Config) *testFleet {
+	w := &testFleet{now: startTime}
 	for i := range n {
 		w.names = append(w.names, fmt.Sprint("n", i))
 	}
@@ -39,7 +39,7 @@
 }
 
 // report has member i report, and returns it for whoever hears it.
-func (w *world) report(i int, half int64, u ...Usage) Report {
+func (w *testFleet) report(i int, half int64, u ...Usage) Report {
 	w.seq++
 	r := Report{Member: w.names[i], Incarnation: 1, Seq: w.seq, ReportedAt: w.now, Period: half, Usages: u}
 	w.states[i].Merge(r)
@@ -49,13 +49,13 @@
 // Whatever reports are lost, delayed or heard twice, and however members are cut off from
 // one another for less than the hold, together they spend no more within an epoch than its
 // budget; cut apart for longer, no more than that on each side.
-func TestTogetherWithinTheBudget(t *testing.T) {
+func TestMembersTogetherStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
 		part := rapid.Float64Range(0, 6).Draw(t, "part")
-		w := newWorld(n, cfg)
+		w := newTestFleet(n, cfg)
 		for i := range n { // all have heard of all, once
-			r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: part})
+			r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
@@ -74,7 +74,7 @@
 					w.now += (cfg.LeaseTimeout/cfg.Epoch + 1) * cfg.Epoch
 					sides = 2
 					for i := range n { // each side hears its own
-						r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: part})
+						r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part})
 						for j, s := range w.states {
 							if i%2 == j%2 {
 								s.Merge(r)
@@ -96,7 +96,7 @@
 				}
 				w.now += cfg.Epoch / 2
 				for i := range n {
-					r := w.report(i, half+phase, Usage{Endpoint: cold, WarmingUp: true, Demand: part, Spent: used[i]})
+					r := w.report(i, half+phase, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part, Spent: used[i]})
 					for j, s := range w.states {
 						if (sides == 1 || i%2 == j%2) && rapid.Bool().Draw(t, "heard") {
 							s.Merge(r)
@@ -113,40 +113,40 @@
 }
 
 // What a side deals after the hold is its own parts' sum, not the whole fleet's.
-func TestTokens(t *testing.T) {
+func TestTokensAfterMembershipChanges(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		do    func(w *world)
+		do    func(w *testFleet)
 		total int // of all members' tokens in a first half
 	}{
-		{"all there", func(*world) {}, 12},
-		{"one failed: it may be sending", func(w *world) { w.states[0].SetMemberStatus(w.now, "n3", Failed) }, 12},
-		{"one left", func(w *world) {
+		{"all there", func(*testFleet) {}, 12},
+		{"one failed: it may be sending", func(w *testFleet) { w.states[0].SetMemberStatus(w.now, "n3", Failed) }, 12},
+		{"one left", func(w *testFleet) {
 			for _, s := range w.states[:3] {
 				s.SetMemberStatus(w.now, "n3", Left)
 			}
 		}, 9},
-		{"one failed for long", func(w *world) {
+		{"one failed for long", func(w *testFleet) {
 			for _, s := range w.states[:3] {
 				s.SetMemberStatus(w.now-cfg.LeaseTimeout, "n3", Failed)
 			}
 		}, 9},
-		{"one says absurd things", func(w *world) {
-			r := w.report(3, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: 1e6})
+		{"one says absurd things", func(w *testFleet) {
+			r := w.report(3, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 1e6})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
 		}, 18}, // clamped to three times the median
-		{"one says what cannot be", func(w *world) {
+		{"one says what cannot be", func(w *testFleet) {
 			for _, s := range w.states {
-				s.Merge(Report{Member: "n3", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: cold, WarmingUp: true, Demand: -1}}})
-				s.Merge(Report{Member: "stranger", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: cold, WarmingUp: true, Demand: 99}}})
+				s.Merge(Report{Member: "n3", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: warmingEndpoint, WarmingUp: true, Demand: -1}}})
+				s.Merge(Report{Member: "stranger", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 99}}})
 			}
 		}, 12},
 	} {
-		w := newWorld(4, cfg)
+		w := newTestFleet(4, cfg)
 		for i := range 4 {
-			r := w.report(i, 0, Usage{Endpoint: cold, WarmingUp: true, Demand: 3})
+			r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 3})
 			for _, s := range w.states {
 				s.Merge(r)
 			}
@@ -167,9 +167,9 @@
 	}
 }
 
-func TestUnspentIsDealtAgain(t *testing.T) {
-	w := newWorld(3, cfg)
-	use := Usage{Endpoint: cold, WarmingUp: true, Demand: 4}
+func TestUnspentTokensAreAllocatedAgain(t *testing.T) {
+	w := newTestFleet(3, cfg)
+	use := Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 4}
 	for i := range 3 {
 		r := w.report(i, 0, use)
 		for _, s := range w.states {
@@ -193,7 +193,7 @@
 }
 
 // Merging is the same in any order, and as often as one likes.
-func TestMergeConverges(t *testing.T) {
+func TestMergeConvergesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var reports []Report
 		for range rapid.IntRange(1, 12).Draw(t, "reports") {
@@ -203,7 +203,7 @@
 		for i := range reports { // one number, one word
 			reports[i].FirstAttempts = float64(reports[i].Incarnation)*10 + float64(reports[i].Seq)
 		}
-		a, b := newWorld(4, cfg).states[0], newWorld(4, cfg).states[0]
+		a, b := newTestFleet(4, cfg).states[0], newTestFleet(4, cfg).states[0]
 		for _, r := range reports {
 			a.Merge(r)
 		}
--- a/internal/fleet/quota/state.go
+++ b/internal/fleet/quota/state.go
@@ -19,10 +19,10 @@
 func (s Status) String() string { return [...]string{"alive", "failed", "left"}[s] }
 
 type member struct {
-	status Status
-	since  time.Duration
-	report *Report
-	uses   map[Endpoint]Usage
+	status          Status
+	statusChangedAt time.Duration
+	report          *Report
+	usages          map[Endpoint]Usage
 }
 
 // State is what one member knows of all. It is not safe for concurrent use.
@@ -42,14 +42,14 @@
 func (s *State) SetMemberStatus(now time.Duration, name string, status Status) {
 	m := s.members[name]
 	if m == nil {
-		if status != Alive || len(s.members) >= mostMembers {
+		if status != Alive || len(s.members) >= maxMembers {
 			return
 		}
 		m = &member{}
 		s.members[name] = m
 	}
 	if name != s.self && m.status != status {
-		m.status, m.since = status, now
+		m.status, m.statusChangedAt = status, now
 	}
 }
 
@@ -57,19 +57,19 @@
 // whether it was news.
 func (s *State) Merge(r Report) bool {
 	m := s.members[r.Member]
-	if m == nil || !r.sound() || m.report != nil && !r.newer(m.report) {
+	if m == nil || !r.isPlausible() || m.report != nil && !r.isNewerThan(m.report) {
 		return false
 	}
-	m.report, m.uses = &r, make(map[Endpoint]Usage, len(r.Usages))
+	m.report, m.usages = &r, make(map[Endpoint]Usage, len(r.Usages))
 	for _, u := range r.Usages {
-		m.uses[u.Endpoint] = u
+		m.usages[u.Endpoint] = u
 	}
 	return true
 }
 
 // Reports returns the latest report of each member, by name.
 func (s *State) Reports() (all []Report) {
-	for _, name := range s.names() {
+	for _, name := range s.memberNames() {
 		if m := s.members[name]; m.report != nil {
 			all = append(all, *m.report)
 		}
@@ -86,7 +86,7 @@
 	return all
 }
 
-func (s *State) names() []string {
+func (s *State) memberNames() []string {
 	names := make([]string, 0, len(s.members))
 	for name := range s.members {
 		names = append(names, name)
@@ -98,29 +98,29 @@
 // Forget drops members that have left or been silent for longer than the hold.
 func (s *State) RemoveExpired(now time.Duration) {
 	for name, m := range s.members {
-		if name != s.self && !s.holds(now, m) {
+		if name != s.self && !s.holdsLease(now, m) {
 			delete(s.members, name)
 		}
 	}
 }
 
 // holds tells whether a member's tokens are still its own.
-func (s *State) holds(now time.Duration, m *member) bool {
+func (s *State) holdsLease(now time.Duration, m *member) bool {
 	switch m.status {
 	case Left:
 		return false
 	case Failed:
-		return s.DisabledGuards.LeaseExpiry || now < m.since+s.cfg.LeaseTimeout
+		return s.DisabledGuards.LeaseExpiry || now < m.statusChangedAt+s.cfg.LeaseTimeout
 	}
 	return true
 }
 
 // holders are the members among whom tokens are dealt, by name.
-func (s *State) holders(now time.Duration) []string {
-	return slices.DeleteFunc(s.names(), func(name string) bool { return !s.holds(now, s.members[name]) })
+func (s *State) leaseHolders(now time.Duration) []string {
+	return slices.DeleteFunc(s.memberNames(), func(name string) bool { return !s.holdsLease(now, s.members[name]) })
 }
 
 // fresh tells whether a member's word counts as of late.
-func (s *State) fresh(now time.Duration, m *member) bool {
+func (s *State) hasFreshReport(now time.Duration, m *member) bool {
 	return m.report != nil && m.report.ReportedAt <= now+s.cfg.ReportTTL && now-m.report.ReportedAt < s.cfg.ReportTTL && m.status != Left
 }
--- a/internal/fleet/quota/verdicts.go
+++ b/internal/fleet/quota/verdicts.go
@@ -8,9 +8,9 @@
 
 const (
 	// leastAccusers is how many members must have seen a next hop fail.
-	leastAccusers = 2
+	minReporters = 2
 	// seen is what one failure counts for a moment after it, as all that is of late fades.
-	seen = 0.5
+	minFailedAttempts = 0.5
 )
 
 // Shunned are the next hops that enough members have seen fail of late: half of those who
@@ -19,19 +19,19 @@
 func (s *State) Outliers(now time.Duration) []Endpoint {
 	asked, accused := map[Endpoint]int{}, map[Endpoint]int{}
 	for _, m := range s.members {
-		if !s.fresh(now, m) {
+		if !s.hasFreshReport(now, m) {
 			continue
 		}
-		for server, u := range m.uses {
+		for server, u := range m.usages {
 			if u.Attempts > 0 {
 				asked[server]++
-				if u.FailedAttempts >= seen && 2*u.FailedAttempts >= u.Attempts {
+				if u.FailedAttempts >= minFailedAttempts && 2*u.FailedAttempts >= u.Attempts {
 					accused[server]++
 				}
 			}
 		}
 	}
-	least := leastAccusers
+	least := minReporters
 	if s.DisabledGuards.Quorum {
 		least = 1
 	}
--- a/internal/fleet/quota/verdicts_test.go
+++ b/internal/fleet/quota/verdicts_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-func TestVerdicts(t *testing.T) {
+func TestOutliersNeedSeveralReporters(t *testing.T) {
 	bad := func(id string) Usage { return Usage{Endpoint: Endpoint{ID: id}, Attempts: 4, FailedAttempts: 3} }
 	good := func(id string) Usage { return Usage{Endpoint: Endpoint{ID: id}, Attempts: 4} }
 	everyone := func(f func(string) Usage) (all []Usage) {
@@ -31,7 +31,7 @@
 		{"long ago", [][]Usage{append(everyone(good), bad("s1")), append(everyone(good), bad("s1"))}, cfg.ReportTTL, nil},
 		{"a fault now and then", [][]Usage{{{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}, {{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}}, 0, nil},
 	} {
-		w := newWorld(len(tt.said), cfg)
+		w := newTestFleet(len(tt.said), cfg)
 		for i, uses := range tt.said {
 			w.states[0].Merge(w.report(i, 0, uses...))
 		}
@@ -47,10 +47,10 @@
 
 // However stale the others' words are, all members' retries together stay below twice the
 // share of first tries.
-func TestRetriesTogether(t *testing.T) {
+func TestRetriesOfAllMembersStayBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
-		w := newWorld(n, cfg)
+		w := newTestFleet(n, cfg)
 		firsts, retries := make([]float64, n), make([]float64, n)
 		all := 0.0
 		for i := range n {
