--- a/internal/fleet/logentry/entry.go
+++ b/internal/fleet/logentry/entry.go
@@ -47,17 +47,17 @@
 // Signed is what a signature is over. By is left out: who signs does not know which member
 // takes it. The body counts as encoding/json writes it, as that is how it travels.
 func (e *Entry) SignedBytes() []byte {
-	var b bytes.Buffer
+	var buffer bytes.Buffer
 	body, err := json.Marshal(e.Body)
 	if err != nil {
 		body = e.Body // no JSON, and never taken
 	}
 	for _, field := range [][]byte{[]byte("coralrelay-entry-1"), []byte(e.Kind), []byte(e.Reason), []byte(e.KeyName), body} {
-		_ = binary.Write(&b, binary.BigEndian, uint32(len(field)))
-		b.Write(field)
+		_ = binary.Write(&buffer, binary.BigEndian, uint32(len(field)))
+		buffer.Write(field)
 	}
-	_ = binary.Write(&b, binary.BigEndian, e.ProposedAt)
-	return b.Bytes()
+	_ = binary.Write(&buffer, binary.BigEndian, e.ProposedAt)
+	return buffer.Bytes()
 }
 
 // Genesis is what all members are given alike before the first entry. Members who differ in
@@ -65,7 +65,7 @@
 type Genesis struct {
 	RootKey        []byte                 `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
 	Zones          zonestatus.Config      `json:"zone"`
-	DisabledGuards account.DisabledChecks `json:"-"` // of accounts, for a rig; each member's own
+	DisabledChecks account.DisabledChecks `json:"-"` // of accounts, for a rig; each member's own
 }
 
 // Hash is of a chain: of its last entry and of all before it.
@@ -75,22 +75,22 @@
 func (h Hash) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(h[:])), nil }
 
 // UnmarshalText reads it.
-func (h *Hash) UnmarshalText(b []byte) error {
-	if hex.DecodedLen(len(b)) != len(h) {
-		return fmt.Errorf("hash: %d digits, want %d", len(b), hex.EncodedLen(len(h)))
+func (h *Hash) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(h) {
+		return fmt.Errorf("hash: %d digits, want %d", len(text), hex.EncodedLen(len(h)))
 	}
-	_, err := hex.Decode(h[:], b)
+	_, err := hex.Decode(h[:], text)
 	return err
 }
 
 // Strict reads one JSON value, all of whose names are known.
-func UnmarshalStrict(raw []byte, into any) error {
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
+func UnmarshalStrict(raw []byte, value any) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
 		return err
 	}
-	if _, err := d.Token(); err != io.EOF {
+	if _, err := decoder.Token(); err != io.EOF {
 		return errors.New("more than one value")
 	}
 	return nil
--- a/internal/fleet/logentry/entry_test.go
+++ b/internal/fleet/logentry/entry_test.go
@@ -12,17 +12,17 @@
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-func marshalEntry(t *testing.T, e Entry) []byte {
+func marshalEntry(t *testing.T, entry Entry) []byte {
 	t.Helper()
-	b, err := json.Marshal(&e)
+	encoded, err := json.Marshal(&entry)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return b
+	return encoded
 }
 
-func spillEntry(t *testing.T, base uint64, part float64) []byte {
-	body, _ := json.Marshal(zonestatus.Change{BaseVersion: base, Zones: []string{"a", "b"}, Shed: part})
+func spillEntry(t *testing.T, baseVersion uint64, shed float64) []byte {
+	body, _ := json.Marshal(zonestatus.Change{BaseVersion: baseVersion, Zones: []string{"a", "b"}, Shed: shed})
 	return marshalEntry(t, Entry{Kind: KindZones, ProposedBy: "m1", Body: body})
 }
 
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -33,37 +33,37 @@
 }
 
 // New returns the state before the first entry.
-func NewState(g Genesis) (*State, error) {
-	if len(g.RootKey) != 0 && len(g.RootKey) != ed25519.PublicKeySize {
-		return nil, fmt.Errorf("root: %d bytes are no Ed25519 public key", len(g.RootKey))
+func NewState(genesis Genesis) (*State, error) {
+	if len(genesis.RootKey) != 0 && len(genesis.RootKey) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("root: %d bytes are no Ed25519 public key", len(genesis.RootKey))
 	}
-	if err := g.Zones.Validate(); err != nil {
+	if err := genesis.Zones.Validate(); err != nil {
 		return nil, err
 	}
-	raw, err := json.Marshal(g)
+	raw, err := json.Marshal(genesis)
 	if err != nil {
 		return nil, err
 	}
-	s := &State{Genesis: g, Hash: sha256.Sum256(raw), Accounts: account.New(g.RootKey)}
-	s.Accounts.DisabledChecks = g.DisabledGuards
+	s := &State{Genesis: genesis, Hash: sha256.Sum256(raw), Accounts: account.New(genesis.RootKey)}
+	s.Accounts.DisabledChecks = genesis.DisabledChecks
 	return s, nil
 }
 
 // Adopt takes over a state that was written down, before it is used: it must have begun as
 // g says, and gets what is not written.
-func (s *State) AttachGenesis(g Genesis) error {
-	theirs, err := json.Marshal(s.Genesis)
+func (s *State) AttachGenesis(genesis Genesis) error {
+	stored, err := json.Marshal(s.Genesis)
 	if err != nil {
 		return err
 	}
-	ours, err := json.Marshal(g)
+	configured, err := json.Marshal(genesis)
 	if err != nil {
 		return err
 	}
-	if !bytes.Equal(theirs, ours) {
+	if !bytes.Equal(stored, configured) {
 		return errors.New("state: of another beginning, root or zones differ")
 	}
-	s.Genesis, s.Accounts.DisabledChecks = g, g.DisabledGuards
+	s.Genesis, s.Accounts.DisabledChecks = genesis, genesis.DisabledChecks
 	return nil
 }
 
@@ -72,11 +72,11 @@
 func (s *State) Apply(raw []byte) (*State, Outcome) {
 	next := *s
 	next.Index++
-	h := sha256.New()
-	h.Write(s.Hash[:])
-	_ = binary.Write(h, binary.BigEndian, next.Index)
-	h.Write(raw)
-	h.Sum(next.Hash[:0])
+	hasher := sha256.New()
+	hasher.Write(s.Hash[:])
+	_ = binary.Write(hasher, binary.BigEndian, next.Index)
+	hasher.Write(raw)
+	hasher.Sum(next.Hash[:0])
 	changed, err := s.evaluate(raw)
 	if err != nil {
 		return &next, Outcome{Index: next.Index, Reason: err.Error()}
@@ -99,36 +99,36 @@
 	if len(raw) > MaxSize {
 		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), MaxSize)
 	}
-	var e Entry
-	if err := UnmarshalStrict(raw, &e); err != nil {
+	var entry Entry
+	if err := UnmarshalStrict(raw, &entry); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	if err := s.verifySignature(&e); err != nil {
-		return nil, fmt.Errorf("%s: %w", e.Kind, err)
+	if err := s.verifySignature(&entry); err != nil {
+		return nil, fmt.Errorf("%s: %w", entry.Kind, err)
 	}
 	next := *s
 	var err error
-	switch e.Kind {
+	switch entry.Kind {
 	case KindZones:
-		var c zonestatus.Change
-		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" {
+		var change zonestatus.Change
+		if err = UnmarshalStrict(entry.Body, &change); err == nil && entry.KeyName != "" {
 			err = errMemberDecision
 		}
 		if err == nil {
-			next.Zones, err = s.Zones.Apply(s.Genesis.Zones, c)
+			next.Zones, err = s.Zones.Apply(s.Genesis.Zones, change)
 		}
 	case KindAccounts:
-		var c account.Change
-		if err = UnmarshalStrict(e.Body, &c); err == nil {
-			next.Accounts, err = s.Accounts.Apply(c, e.KeyName)
+		var change account.Change
+		if err = UnmarshalStrict(entry.Body, &change); err == nil {
+			next.Accounts, err = s.Accounts.Apply(change, entry.KeyName)
 		}
 	case KindContracts:
-		var c slo.Change
-		if err = UnmarshalStrict(e.Body, &c); err == nil && e.KeyName != "" && len(c.Allocations) > 0 {
+		var change slo.Change
+		if err = UnmarshalStrict(entry.Body, &change); err == nil && entry.KeyName != "" && len(change.Allocations) > 0 {
 			err = errMemberDecision
 		}
 		if err == nil {
-			next.Contracts, err = s.Contracts.Apply(c, e.ProposedAt, func(holder string) error { return s.Accounts.AuthorizeContract(e.KeyName, holder) })
+			next.Contracts, err = s.Contracts.Apply(change, entry.ProposedAt, func(holder string) error { return s.Accounts.AuthorizeContract(entry.KeyName, holder) })
 		}
 	case KindSettings:
 		err = errors.New("no entry of this kind is taken yet")
@@ -136,26 +136,26 @@
 		err = errors.New("unknown kind")
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", e.Kind, err)
+		return nil, fmt.Errorf("%s: %w", entry.Kind, err)
 	}
 	return &next, nil
 }
 
 // signed holds an entry to its signature. Without a key it is a member's own, and the room
 // decides what such a one may change.
-func (s *State) verifySignature(e *Entry) error {
-	if e.KeyName == "" {
-		if len(e.Signature) > 0 {
+func (s *State) verifySignature(entry *Entry) error {
+	if entry.KeyName == "" {
+		if len(entry.Signature) > 0 {
 			return errors.New("a signature, but no key")
 		}
 		return nil
 	}
-	public, ok := s.Accounts.PublicKey(e.KeyName)
+	publicKey, ok := s.Accounts.PublicKey(entry.KeyName)
 	if !ok {
-		return fmt.Errorf("key %.40q: nobody's", e.KeyName)
+		return fmt.Errorf("key %.40q: nobody's", entry.KeyName)
 	}
-	if !ed25519.Verify(public, e.SignedBytes(), e.Signature) {
-		return fmt.Errorf("key %.40q: the signature is not good", e.KeyName)
+	if !ed25519.Verify(publicKey, entry.SignedBytes(), entry.Signature) {
+		return fmt.Errorf("key %.40q: the signature is not good", entry.KeyName)
 	}
 	return nil
 }
--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -62,9 +62,9 @@
 
 // storedChange is a change of the stored log, and the key that signs it; 0 for a member's own.
 type storedChange struct {
-	kind   Kind
-	signer byte
-	change any
+	kind       Kind
+	signerSeed byte
+	change     any
 }
 
 func storedChanges() []storedChange {
@@ -149,8 +149,8 @@
 		t.Fatal(err)
 	}
 	e := Entry{Kind: c.kind, ProposedBy: "m1", ProposedAt: 1_700_000_000_000 + int64(n), Reason: "<why>", Body: body}
-	if c.signer != 0 {
-		private, _, name := storedKey(c.signer)
+	if c.signerSeed != 0 {
+		private, _, name := storedKey(c.signerSeed)
 		e.KeyName = name
 		e.Signature = ed25519.Sign(private, e.SignedBytes())
 	}
@@ -196,26 +196,26 @@
 }
 
 // recordFields sets, for each field reachable from a value, whether it was ever not zero.
-func recordFields(v reflect.Value, filled map[string]bool) {
-	switch v.Kind() {
+func recordFields(value reflect.Value, filled map[string]bool) {
+	switch value.Kind() {
 	case reflect.Pointer:
-		if !v.IsNil() {
-			recordFields(v.Elem(), filled)
+		if !value.IsNil() {
+			recordFields(value.Elem(), filled)
 		}
 	case reflect.Slice:
-		for i := range v.Len() {
-			recordFields(v.Index(i), filled)
+		for i := range value.Len() {
+			recordFields(value.Index(i), filled)
 		}
 	case reflect.Map:
-		for _, key := range v.MapKeys() {
-			recordFields(v.MapIndex(key), filled)
+		for _, key := range value.MapKeys() {
+			recordFields(value.MapIndex(key), filled)
 		}
 	case reflect.Struct:
-		for field, value := range v.Fields() {
+		for field, fieldValue := range value.Fields() {
 			if field.IsExported() && field.Tag.Get("json") != "-" {
-				name := v.Type().String() + "." + field.Name
-				filled[name] = filled[name] || !value.IsZero()
-				recordFields(value, filled)
+				name := value.Type().String() + "." + field.Name
+				filled[name] = filled[name] || !fieldValue.IsZero()
+				recordFields(fieldValue, filled)
 			}
 		}
 	}
