--- a/internal/fleet/account/change.go
+++ b/internal/fleet/account/change.go
@@ -51,46 +51,46 @@
 // draft is a state under change: its maps are its own, what they hold is not.
 type draft struct {
 	State
-	key     string
-	touched map[string]bool   // nodes whose children's sums may have changed
-	scoped  map[string]bool   // nodes below which scopes must be looked at
-	put     map[string]*Route // routes that may tie
+	authorKey     string
+	changedTotals map[string]bool   // nodes whose children's sums may have changed
+	changedScopes map[string]bool   // nodes below which scopes must be looked at
+	changedRoutes map[string]*Route // routes that may tie
 }
 
 // Apply returns the state after a change by who has the key, or why it is not taken. The
 // error names the operation by its number and path.
-func (s State) Apply(c Change, key string) (State, error) {
+func (s State) Apply(change Change, authorKey string) (State, error) {
 	switch {
-	case len(c.Ops) == 0 || len(c.Ops) > mostOps:
-		return s, fmt.Errorf("%d operations, want 1 to %d", len(c.Ops), mostOps)
-	case c.BaseVersion > s.Version:
-		return s, fmt.Errorf("base %d: the version is %d", c.BaseVersion, s.Version)
-	case c.RequireUnchanged && c.BaseVersion != s.Version:
-		return s, fmt.Errorf("base %d: the version is %d by now", c.BaseVersion, s.Version)
+	case len(change.Ops) == 0 || len(change.Ops) > maxOps:
+		return s, fmt.Errorf("%d operations, want 1 to %d", len(change.Ops), maxOps)
+	case change.BaseVersion > s.Version:
+		return s, fmt.Errorf("base %d: the version is %d", change.BaseVersion, s.Version)
+	case change.RequireUnchanged && change.BaseVersion != s.Version:
+		return s, fmt.Errorf("base %d: the version is %d by now", change.BaseVersion, s.Version)
 	}
-	d := &draft{State: s, key: key, touched: map[string]bool{}, scoped: map[string]bool{}, put: map[string]*Route{}}
-	d.Version++
-	d.Nodes, d.Routes, d.Grants = own(s.Nodes), own(s.Routes), own(s.Grants)
-	for i := range c.Ops {
-		op := &c.Ops[i]
-		err := s.unchanged(c.BaseVersion, op)
+	next := &draft{State: s, authorKey: authorKey, changedTotals: map[string]bool{}, changedScopes: map[string]bool{}, changedRoutes: map[string]*Route{}}
+	next.Version++
+	next.Nodes, next.Routes, next.Grants = cloneMap(s.Nodes), cloneMap(s.Routes), cloneMap(s.Grants)
+	for i := range change.Ops {
+		op := &change.Ops[i]
+		err := s.checkUnchanged(change.BaseVersion, op)
 		if err == nil {
-			err = d.do(op)
+			err = next.applyOp(op)
 		}
 		if err != nil && s.DisabledChecks.AtomicChange && i > 0 {
-			return d.State, nil
+			return next.State, nil
 		}
 		if err != nil {
 			return s, fmt.Errorf("operation %d, %.20q on %.80q: %w", i+1, op.Kind, op.Path, err)
 		}
 	}
-	if err := d.holds(); err != nil && !s.DisabledChecks.AtomicChange {
+	if err := next.validateChanged(); err != nil && !s.DisabledChecks.AtomicChange {
 		return s, err
 	}
-	return d.State, nil
+	return next.State, nil
 }
 
-func own[V any](m map[string]V) map[string]V {
+func cloneMap[V any](m map[string]V) map[string]V {
 	if m == nil {
 		return map[string]V{}
 	}
@@ -98,8 +98,8 @@
 }
 
 // unchanged compares what an operation is about with what its author saw.
-func (s State) unchanged(base uint64, op *Op) error {
-	version, above := uint64(0), op.Path
+func (s State) checkUnchanged(base uint64, op *Op) error {
+	version, ancestor := uint64(0), op.Path
 	switch op.Kind {
 	case PutRoute, DeleteRoute:
 		name := op.Name
@@ -121,13 +121,13 @@
 		if n := s.Nodes[op.Path]; n != nil {
 			version = n.Version
 		}
-		above = parent(op.Path)
+		ancestor = parent(op.Path)
 	}
 	if op.ExpectedVersion != 0 && op.ExpectedVersion != version {
 		return fmt.Errorf("was %d: it is %d", op.ExpectedVersion, version)
 	}
-	for ; version == 0 && above != ""; above = parent(above) {
-		if n := s.Nodes[above]; n != nil {
+	for ; version == 0 && ancestor != ""; ancestor = parent(ancestor) {
+		if n := s.Nodes[ancestor]; n != nil {
 			version = max(n.CreatedVersion, n.ChildRemovedVersion)
 		}
 	}
@@ -140,31 +140,31 @@
 	return nil
 }
 
-func (d *draft) do(op *Op) error {
-	if err := goodPath(op.Path); err != nil {
+func (d *draft) applyOp(op *Op) error {
+	if err := checkPath(op.Path); err != nil {
 		return err
 	}
 	switch op.Kind {
 	case CreateAccount, CreateTeam:
-		return d.add(op)
+		return d.createNode(op)
 	case SetLimits:
-		return d.set(op)
+		return d.setLimits(op)
 	case DeleteNode:
-		return d.drop(op.Path)
+		return d.deleteNode(op.Path)
 	case PutRoute:
 		return d.putRoute(op)
 	case DeleteRoute:
-		return d.dropRoute(op)
+		return d.deleteRoute(op)
 	case CreateGrant:
-		return d.give(op)
+		return d.createGrant(op)
 	case RevokeGrant:
-		return d.revoke(op)
+		return d.revokeGrant(op)
 	}
 	return errors.New("no such operation")
 }
 
 // lost notes that a node, or the fleet for the empty path, has had something taken away.
-func (d *draft) lost(path string) {
+func (d *draft) markChildRemoved(path string) {
 	if path == "" {
 		d.AccountRemovedVersion = d.Version
 	} else if n := d.Nodes[path]; n != nil {
--- a/internal/fleet/account/deal.go
+++ b/internal/fleet/account/deal.go
@@ -7,14 +7,14 @@
 )
 
 // table is one member's reckoning for one half epoch.
-type table struct {
-	cfg    LeaseConfig
-	half   int64
-	self   string
-	places map[string]int // of the holders in this half
-	first  map[string]int // and in the epoch's first
-	lost   []string       // holders of whom it is not known what they spent in it
-	used   map[string][shared]int64
+type allocator struct {
+	cfg            LeaseConfig
+	halfEpoch      int64
+	self           string
+	ranks          map[string]int // of the holders in this half
+	firstHalfRanks map[string]int // and in the epoch's first
+	unreported     []string       // holders of whom it is not known what they spent in it
+	spentFirstHalf map[string][amountKinds]int64
 }
 
 // Deal returns what a member may use in the half epoch in which now lies. Holders are the
@@ -25,67 +25,67 @@
 // epoch's first half, and again in the second what is known not to have been spent. What a
 // member has of a parent's is then filled among the children by what this member wants of
 // each. No report makes the sum over all members greater.
-func Allocate(now time.Duration, cfg LeaseConfig, s State, uses []Usage, holders []string, self string) QuotaLease {
-	own := Usage{}
-	heard := map[string]*Usage{}
-	for i := range uses {
-		u := &uses[i]
-		if old := heard[u.Member]; u.IsValid() && (old == nil || cmp.Or(cmp.Compare(u.HalfEpoch, old.HalfEpoch), cmp.Compare(u.ReportedAt, old.ReportedAt)) > 0) {
-			heard[u.Member] = u
+func Allocate(now time.Duration, cfg LeaseConfig, state State, reports []Usage, holders []string, self string) QuotaLease {
+	ownUsage := Usage{}
+	latest := map[string]*Usage{}
+	for kind := range reports {
+		usage := &reports[kind]
+		if previous := latest[usage.Member]; usage.IsValid() && (previous == nil || cmp.Or(cmp.Compare(usage.HalfEpoch, previous.HalfEpoch), cmp.Compare(usage.ReportedAt, previous.ReportedAt)) > 0) {
+			latest[usage.Member] = usage
 		}
 	}
-	if u := heard[self]; u != nil {
-		own = *u
+	if usage := latest[self]; usage != nil {
+		ownUsage = *usage
 	}
-	n := len(holders)
-	if n == 0 || !slices.Contains(holders, self) || 2*n <= cfg.FleetSize {
-		n = max(cfg.FleetSize, n, 1)
-		return AllocateEvenShare(now, cfg, s, own, QuotaLease{HolderRank: int(hash(self, 0, 0) % uint64(n)), HolderCount: n})
+	count := len(holders)
+	if count == 0 || !slices.Contains(holders, self) || 2*count <= cfg.FleetSize {
+		count = max(cfg.FleetSize, count, 1)
+		return AllocateEvenShare(now, cfg, state, ownUsage, QuotaLease{HolderRank: int(hash(self, 0, 0) % uint64(count)), HolderCount: count})
 	}
-	t := &table{cfg: cfg, half: cfg.half(now), self: self, used: map[string][shared]int64{}}
-	t.places, t.first = ranked(holders, t.half), ranked(holders, t.half&^1)
-	still := ranked(holders, -1)
-	if t.half%2 == 1 {
-		t.hear(s, holders, heard)
+	alloc := &allocator{cfg: cfg, halfEpoch: cfg.halfEpoch(now), self: self, spentFirstHalf: map[string][amountKinds]int64{}}
+	alloc.ranks, alloc.firstHalfRanks = rankHolders(holders, alloc.halfEpoch), rankHolders(holders, alloc.halfEpoch&^1)
+	connectionRanks := rankHolders(holders, -1)
+	if alloc.halfEpoch%2 == 1 {
+		alloc.sumReported(state, holders, latest)
 	}
-	r := QuotaLease{HalfEpoch: t.half, ExpiresAt: time.Duration(t.half+1) * (cfg.Epoch / 2), HolderRank: still[self], HolderCount: n}
-	r.EvenShares = s.evenParts(n)
-	r.Allocated = s.fill(own, func(path string, i int, limit int64) int64 {
-		if i == 0 { // how many stand is not dealt again: what stands can't be called back
-			return part(limit/thousand, turned(still[self], path, i, 0, n), n)
+	lease := QuotaLease{HalfEpoch: alloc.halfEpoch, ExpiresAt: time.Duration(alloc.halfEpoch+1) * (cfg.Epoch / 2), HolderRank: connectionRanks[self], HolderCount: count}
+	lease.EvenShares = state.evenShares(count)
+	lease.Allocated = state.distribute(ownUsage, func(path string, kind int, limit int64) int64 {
+		if kind == 0 { // how many stand is not dealt again: what stands can't be called back
+			return shareOf(limit/thousand, rotateRank(connectionRanks[self], path, kind, 0, count), count)
 		}
-		return t.tokens(path, i, limit)
+		return alloc.halfTokens(path, kind, limit)
 	})
-	return r
+	return lease
 }
 
 // Alone returns the rights of a member that has not heard the record for Hold, or too few
 // others: its even part, among as many as it was last dealt among.
-func AllocateEvenShare(now time.Duration, cfg LeaseConfig, s State, own Usage, last QuotaLease) QuotaLease {
-	r := QuotaLease{HalfEpoch: cfg.half(now), HolderRank: last.HolderRank, HolderCount: max(last.HolderCount, 1)}
-	r.ExpiresAt = time.Duration(r.HalfEpoch+1) * (cfg.Epoch / 2)
-	r.EvenShares = s.evenParts(r.HolderCount)
-	r.Allocated = s.fill(own, func(path string, i int, limit int64) int64 {
-		place := turned(r.HolderRank, path, i, 0, r.HolderCount)
-		if i == 0 {
-			return part(limit/thousand, place, r.HolderCount)
+func AllocateEvenShare(now time.Duration, cfg LeaseConfig, state State, ownUsage Usage, previous QuotaLease) QuotaLease {
+	lease := QuotaLease{HalfEpoch: cfg.halfEpoch(now), HolderRank: previous.HolderRank, HolderCount: max(previous.HolderCount, 1)}
+	lease.ExpiresAt = time.Duration(lease.HalfEpoch+1) * (cfg.Epoch / 2)
+	lease.EvenShares = state.evenShares(lease.HolderCount)
+	lease.Allocated = state.distribute(ownUsage, func(path string, kind int, limit int64) int64 {
+		rank := rotateRank(lease.HolderRank, path, kind, 0, lease.HolderCount)
+		if kind == 0 {
+			return shareOf(limit/thousand, rank, lease.HolderCount)
 		}
-		return cfg.even(limit, r.HalfEpoch, place, r.HolderCount)
+		return cfg.evenTokens(limit, lease.HalfEpoch, rank, lease.HolderCount)
 	})
-	return r
+	return lease
 }
 
 // evenParts returns an n-th of each limit.
-func (s State) evenParts(n int) map[string]Amounts {
-	parts := make(map[string]Amounts, len(s.Nodes)+len(s.Routes))
-	put := func(path string, l Limits) {
-		a := Amounts{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate}.array()
-		for i, x := range a {
-			if a[i] = -1; x >= 0 {
-				a[i] = x / float64(n)
+func (s State) evenShares(count int) map[string]Amounts {
+	shares := make(map[string]Amounts, len(s.Nodes)+len(s.Routes))
+	put := func(path string, limits Limits) {
+		values := Amounts{limits.Connections, limits.SetupRate, limits.RetryRate, limits.ProbeRate}.values()
+		for i, value := range values {
+			if values[i] = -1; value >= 0 {
+				values[i] = value / float64(count)
 			}
 		}
-		parts[path] = figuresOf(a)
+		shares[path] = amountsOf(values)
 	}
 	for path, node := range s.Nodes {
 		put(path, node.Limits)
@@ -93,77 +93,77 @@
 	for path, r := range s.Routes {
 		put(path, r.Limits)
 	}
-	return parts
+	return shares
 }
 
 // ranked gives each holder a place, by rendezvous with the half.
-func ranked(holders []string, half int64) map[string]int {
+func rankHolders(holders []string, halfEpoch int64) map[string]int {
 	order := slices.Clone(holders)
 	slices.SortFunc(order, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hash(a, uint64(half), 0), hash(b, uint64(half), 0)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hash(a, uint64(halfEpoch), 0), hash(b, uint64(halfEpoch), 0)), cmp.Compare(a, b))
 	})
-	places := make(map[string]int, len(order))
-	for place, name := range order {
-		places[name] = place
+	ranks := make(map[string]int, len(order))
+	for rank, name := range order {
+		ranks[name] = rank
 	}
-	return places
+	return ranks
 }
 
 // turned is a place for one figure of one path: the same who comes first for one does not
 // for all.
-func turned(place int, path string, i int, half int64, n int) int {
-	return int((uint64(place) + hash(path, uint64(i), uint64(half))%uint64(n)) % uint64(n))
+func rotateRank(rank int, path string, kind int, halfEpoch int64, count int) int {
+	return int((uint64(rank) + hash(path, uint64(kind), uint64(halfEpoch))%uint64(count)) % uint64(count))
 }
 
 // hear sums what the holders say to have spent in the first half. None counts for more than
 // he had, so that a false word takes nothing from others.
-func (t *table) hear(s State, holders []string, heard map[string]*Usage) {
-	first, end := t.half-1, time.Duration(t.half)*(t.cfg.Epoch/2)
-	n := len(holders)
+func (t *allocator) sumReported(s State, holders []string, latest map[string]*Usage) {
+	firstHalf, end := t.halfEpoch-1, time.Duration(t.halfEpoch)*(t.cfg.Epoch/2)
+	count := len(holders)
 	for _, name := range holders {
 		var spent map[string]Amounts
-		known := false
-		if u := heard[name]; u != nil {
-			spent, known = u.spent(first, end)
+		reported := false
+		if usage := latest[name]; usage != nil {
+			spent, reported = usage.spentIn(firstHalf, end)
 		}
-		if !known {
-			t.lost = append(t.lost, name)
+		if !reported {
+			t.unreported = append(t.unreported, name)
 			continue
 		}
-		for path, f := range spent {
-			l, ok := s.limits(path)
+		for path, amounts := range spent {
+			limits, ok := s.limitsAt(path)
 			if !ok {
 				continue
 			}
-			sum, limit := t.used[path], l.thousandths()
-			for i, x := range f.array() {
-				if i > 0 && x > 0 && limit[i] >= 0 {
-					had := part(t.cfg.whole(path, i, limit[i], t.half/2), turned(t.first[name], path, i, first, n), n)
-					sum[i] += min(ceil(x), had)
+			sum, thousandths := t.spentFirstHalf[path], limits.thousandths()
+			for kind, amount := range amounts.values() {
+				if kind > 0 && amount > 0 && thousandths[kind] >= 0 {
+					allotted := shareOf(t.cfg.epochTokens(path, kind, thousandths[kind], t.halfEpoch/2), rotateRank(t.firstHalfRanks[name], path, kind, firstHalf, count), count)
+					sum[kind] += min(ceilToken(amount), allotted)
 				}
 			}
-			t.used[path] = sum
+			t.spentFirstHalf[path] = sum
 		}
 	}
 }
 
 // tokens returns this member's of one figure in this half.
-func (t *table) tokens(path string, i int, limit int64) int64 {
-	n, left := len(t.places), t.cfg.whole(path, i, limit, t.half/2)
-	if t.half%2 == 1 {
-		whole := left
-		left -= t.used[path][i]
-		for _, name := range t.lost {
-			left -= part(whole, turned(t.first[name], path, i, t.half-1, n), n)
+func (t *allocator) halfTokens(path string, kind int, limit int64) int64 {
+	count, remaining := len(t.ranks), t.cfg.epochTokens(path, kind, limit, t.halfEpoch/2)
+	if t.halfEpoch%2 == 1 {
+		total := remaining
+		remaining -= t.spentFirstHalf[path][kind]
+		for _, name := range t.unreported {
+			remaining -= shareOf(total, rotateRank(t.firstHalfRanks[name], path, kind, t.halfEpoch-1, count), count)
 		}
 	}
-	return part(max(left, 0), turned(t.places[t.self], path, i, t.half, n), n)
+	return shareOf(max(remaining, 0), rotateRank(t.ranks[t.self], path, kind, t.halfEpoch, count), count)
 }
 
-func hash(word string, a, b uint64) uint64 {
+func hash(text string, a, b uint64) uint64 {
 	x := uint64(14695981039346656037) // FNV-1a
-	for i := range len(word) {
-		x = (x ^ uint64(word[i])) * 1099511628211
+	for i := range len(text) {
+		x = (x ^ uint64(text[i])) * 1099511628211
 	}
 	x ^= a*0x9e3779b97f4a7c15 ^ b*0xbf58476d1ce4e5b9
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
--- a/internal/fleet/account/fill.go
+++ b/internal/fleet/account/fill.go
@@ -7,7 +7,7 @@
 )
 
 // limits returns those of a node or route.
-func (s State) limits(path string) (Limits, bool) {
+func (s State) limitsAt(path string) (Limits, bool) {
 	if n := s.Nodes[path]; n != nil {
 		return n.Limits, true
 	}
@@ -20,77 +20,77 @@
 // fill takes what a member was dealt of each limit down the tree. A child's right is what
 // progressive filling of its parent's gives it for what this member wants (max-min fair),
 // and all that no child wants, which is anybody's: the parent's count bounds it.
-func (s State) fill(own Usage, dealt func(path string, i int, limit int64) int64) map[string]Amounts {
-	below := map[string][]string{}
+func (s State) distribute(ownUsage Usage, allot func(path string, i int, limit int64) int64) map[string]Amounts {
+	childrenOf := map[string][]string{}
 	for path := range s.Nodes {
-		below[parent(path)] = append(below[parent(path)], path)
+		childrenOf[parent(path)] = append(childrenOf[parent(path)], path)
 	}
 	for path, r := range s.Routes {
-		below[r.Owner] = append(below[r.Owner], path)
+		childrenOf[r.Owner] = append(childrenOf[r.Owner], path)
 	}
-	wants := own.Demand
+	demand := ownUsage.Demand
 	if s.DisabledChecks.LendingRecall {
-		wants = own.Used
+		demand = ownUsage.Used
 	}
-	rights := make(map[string][shared]int64, len(s.Nodes)+len(s.Routes))
-	var down func(above string, has [shared]int64)
-	down = func(above string, has [shared]int64) {
-		names := below[above]
+	allocated := make(map[string][amountKinds]int64, len(s.Nodes)+len(s.Routes))
+	var descend func(parentPath string, available [amountKinds]int64)
+	descend = func(parentPath string, available [amountKinds]int64) {
+		names := childrenOf[parentPath]
 		slices.Sort(names) // who has less of what can't be divided does not hang on the map
-		caps, want := make([]int64, len(names)), make([]int64, len(names))
-		for i := range has {
+		caps, demands := make([]int64, len(names)), make([]int64, len(names))
+		for i := range available {
 			for k, name := range names {
-				l, _ := s.limits(name)
-				caps[k] = has[i]
-				if limit := l.thousandths()[i]; limit >= 0 {
-					caps[k] = dealt(name, i, limit)
+				limits, _ := s.limitsAt(name)
+				caps[k] = available[i]
+				if limit := limits.thousandths()[i]; limit >= 0 {
+					caps[k] = allot(name, i, limit)
 				}
-				want[k] = ceil(wants[name].array()[i])
+				demands[k] = ceilToken(demand[name].values()[i])
 			}
-			spread(has[i], caps, want)
+			fillMaxMin(available[i], caps, demands)
 			for k, name := range names {
-				right := rights[name]
-				right[i] = caps[k]
-				rights[name] = right
+				amounts := allocated[name]
+				amounts[i] = caps[k]
+				allocated[name] = amounts
 			}
 		}
 		for _, name := range names {
 			if !strings.Contains(name, ":") {
-				down(name, rights[name])
+				descend(name, allocated[name])
 			}
 		}
 	}
-	down("", [shared]int64{-1, -1, -1, -1})
-	all := make(map[string]Amounts, len(rights))
-	for path, right := range rights {
-		var a [shared]float64
-		for i, x := range right {
-			a[i] = float64(x)
+	descend("", [amountKinds]int64{-1, -1, -1, -1})
+	result := make(map[string]Amounts, len(allocated))
+	for path, amounts := range allocated {
+		var values [amountKinds]float64
+		for i, amount := range amounts {
+			values[i] = float64(amount)
 		}
-		all[path] = figuresOf(a)
+		result[path] = amountsOf(values)
 	}
-	return all
+	return result
 }
 
 // spread fills the wants of siblings, none above its cap, from what there is: the least
 // first, each with an equal part of what is left. What remains is added to each. Caps
 // become rights. A negative figure is no bound.
-func spread(has int64, caps, want []int64) {
-	if has < 0 {
+func fillMaxMin(available int64, caps, demands []int64) {
+	if available < 0 {
 		return
 	}
 	order := make([]int, len(caps))
 	for k := range caps {
 		order[k] = k
-		want[k] = min(want[k], caps[k])
+		demands[k] = min(demands[k], caps[k])
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(want[a], want[b]) })
-	left := has
-	for done, k := range order {
-		want[k] = min(want[k], left/int64(len(order)-done))
-		left -= want[k]
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(demands[a], demands[b]) })
+	remaining := available
+	for served, k := range order {
+		demands[k] = min(demands[k], remaining/int64(len(order)-served))
+		remaining -= demands[k]
 	}
 	for k := range caps {
-		caps[k] = min(caps[k], want[k]+left)
+		caps[k] = min(caps[k], demands[k]+remaining)
 	}
 }
--- a/internal/fleet/account/routes.go
+++ b/internal/fleet/account/routes.go
@@ -11,7 +11,7 @@
 // of the group's hash, returned, retry. Two of one rank name the same fields.
 func (m *Match) Specificity() int {
 	rank := 0
-	for i, named := range [6]bool{m.Class != "", m.Tenant != "", m.Group != "", m.ranged(), m.Returning != nil, m.Retry != nil} {
+	for i, named := range [6]bool{m.Class != "", m.Tenant != "", m.Group != "", m.hasRange(), m.Returning != nil, m.Retry != nil} {
 		if named {
 			rank |= 1 << (5 - i)
 		}
@@ -19,31 +19,31 @@
 	return rank
 }
 
-func (m *Match) ranged() bool { return m.HashFrom != 0 || m.HashTo != 0 }
+func (m *Match) hasRange() bool { return m.HashFrom != 0 || m.HashTo != 0 }
 
 // named is all that a match names but the range.
-type named struct {
+type matchKey struct {
 	rank                 int
 	class, tenant, group string
 	returned, retry      bool
 }
 
-func (m *Match) named() named {
-	return named{m.Specificity(), m.Class, m.Tenant, m.Group, m.Returning != nil && *m.Returning, m.Retry != nil && *m.Retry}
+func (m *Match) key() matchKey {
+	return matchKey{m.Specificity(), m.Class, m.Tenant, m.Group, m.Returning != nil && *m.Returning, m.Retry != nil && *m.Retry}
 }
 
 // Ties tells whether a transaction can be that two matches of one rank both take.
 func (m *Match) Overlaps(o *Match) bool {
-	return m.named() == o.named() && (!m.ranged() || m.HashFrom < o.HashTo && o.HashFrom < m.HashTo)
+	return m.key() == o.key() && (!m.hasRange() || m.HashFrom < o.HashTo && o.HashFrom < m.HashTo)
 }
 
-func (m *Match) check() error {
+func (m *Match) validate() error {
 	switch {
 	case len(m.Class) > 64 || len(m.Tenant) > 255 || len(m.Group) > 1024:
 		return errors.New("class, tenant or group is longer than 64, 255 or 1024 bytes")
-	case m.ranged() && !(m.HashFrom >= 0 && m.HashFrom < m.HashTo && m.HashTo <= 1):
+	case m.hasRange() && !(m.HashFrom >= 0 && m.HashFrom < m.HashTo && m.HashTo <= 1):
 		return fmt.Errorf("range %v to %v: want 0 <= from < to <= 1", m.HashFrom, m.HashTo)
-	case m.ranged() && m.Group != "":
+	case m.hasRange() && m.Group != "":
 		return errors.New("a group and a range: want one of them")
 	}
 	return nil
@@ -59,32 +59,32 @@
 		return errors.New("no such account or team")
 	case r.Owner != "" && r.Owner != op.Path:
 		return fmt.Errorf("owner %.80q: the operation is on %q", r.Owner, op.Path)
-	case !goodName(r.Name):
-		return fmt.Errorf("route name %.40q: want a-z, 0-9, '-', '_' and '.', %d letters at most", r.Name, mostName)
+	case !isValidName(r.Name):
+		return fmt.Errorf("route name %.40q: want a-z, 0-9, '-', '_' and '.', %d letters at most", r.Name, maxNameBytes)
 	}
-	if err := d.may(d.key, PermissionRoutes, op.Path); err != nil {
+	if err := d.authorize(d.authorKey, PermissionRoutes, op.Path); err != nil {
 		return err
 	}
-	if err := r.check(); err != nil {
+	if err := r.validate(); err != nil {
 		return fmt.Errorf("route %q: %w", r.Name, err)
 	}
 	r.Owner, r.Version = op.Path, d.Version
-	if d.Routes[r.Path()] == nil && len(d.Routes) >= mostRoutes {
-		return fmt.Errorf("%d routes, no more are kept", mostRoutes)
+	if d.Routes[r.Path()] == nil && len(d.Routes) >= maxRoutes {
+		return fmt.Errorf("%d routes, no more are kept", maxRoutes)
 	}
-	if err := d.routeScope(&r); err != nil {
+	if err := d.checkRouteScope(&r); err != nil {
 		return err
 	}
-	d.Routes[r.Path()], d.put[r.Path()] = &r, &r
-	d.touch(op.Path)
+	d.Routes[r.Path()], d.changedRoutes[r.Path()] = &r, &r
+	d.markTotalsChanged(op.Path)
 	return nil
 }
 
-func (r *Route) check() error {
-	if err := r.Match.check(); err != nil {
+func (r *Route) validate() error {
+	if err := r.Match.validate(); err != nil {
 		return err
 	}
-	if err := r.Limits.check(); err != nil {
+	if err := r.Limits.validate(); err != nil {
 		return err
 	}
 	if len(r.Contract) > 64 {
@@ -98,37 +98,37 @@
 		seen[p.Zone] = true
 		sum += int64(math.Round(p.Percent * thousand))
 	}
-	if len(r.ZoneShares) > mostParts || len(r.ZoneShares) > 0 && sum != 100*thousand {
-		return fmt.Errorf("%d parts of %v %% in all: want at most %d, 100 %% in all", len(r.ZoneShares), float64(sum)/thousand, mostParts)
+	if len(r.ZoneShares) > maxZoneShares || len(r.ZoneShares) > 0 && sum != 100*thousand {
+		return fmt.Errorf("%d parts of %v %% in all: want at most %d, 100 %% in all", len(r.ZoneShares), float64(sum)/thousand, maxZoneShares)
 	}
 	return nil
 }
 
-func (d *draft) dropRoute(op *Op) error {
+func (d *draft) deleteRoute(op *Op) error {
 	path := op.Path + ":" + op.Name
 	if d.Routes[path] == nil {
 		return fmt.Errorf("no route %.40q", op.Name)
 	}
-	if err := d.may(d.key, PermissionRoutes, op.Path); err != nil {
+	if err := d.authorize(d.authorKey, PermissionRoutes, op.Path); err != nil {
 		return err
 	}
 	delete(d.Routes, path)
-	delete(d.put, path)
-	d.lost(op.Path)
+	delete(d.changedRoutes, path)
+	d.markChildRemoved(op.Path)
 	return nil
 }
 
 // ties refuses a route that takes what another of the same rank takes, whosever that is:
 // which of the two counts would be chance.
-func (s State) ties(r *Route) error {
-	with := ""
-	for path, o := range s.Routes {
-		if path != r.Path() && o.Match.Overlaps(&r.Match) && (with == "" || path < with) {
-			with = path
+func (s State) checkOverlap(r *Route) error {
+	tied := ""
+	for path, other := range s.Routes {
+		if path != r.Path() && other.Match.Overlaps(&r.Match) && (tied == "" || path < tied) {
+			tied = path
 		}
 	}
-	if with != "" {
-		return fmt.Errorf("route %q: ties with route %q, which takes the same and is as specific", r.Path(), with)
+	if tied != "" {
+		return fmt.Errorf("route %q: ties with route %q, which takes the same and is as specific", r.Path(), tied)
 	}
 	return nil
 }
--- a/internal/fleet/account/scopes.go
+++ b/internal/fleet/account/scopes.go
@@ -7,23 +7,23 @@
 )
 
 // scopes holds what is in some subtrees to what the level above may use and match.
-func (s State) scopes(in func(path string) bool) error {
-	for _, path := range sorted(s.Nodes) {
-		if !in(path) {
+func (s State) checkScopes(selected func(path string) bool) error {
+	for _, path := range sortedKeys(s.Nodes) {
+		if !selected(path) {
 			continue
 		}
-		above := s.scope(parent(path)).lists()
+		parentLists := s.effectiveScope(parent(path)).lists()
 		for i, list := range s.Nodes[path].Scope.lists() {
 			for _, name := range list {
-				if len(above[i]) > 0 && !slices.Contains(above[i], name) {
+				if len(parentLists[i]) > 0 && !slices.Contains(parentLists[i], name) {
 					return fmt.Errorf("%q: %.64q is none of the %s that %q has", path, name, scopeNames[i], parent(path))
 				}
 			}
 		}
 	}
-	for _, path := range sorted(s.Routes) {
-		if r := s.Routes[path]; in(r.Owner) {
-			if err := s.routeScope(r); err != nil {
+	for _, path := range sortedKeys(s.Routes) {
+		if r := s.Routes[path]; selected(r.Owner) {
+			if err := s.checkRouteScope(r); err != nil {
 				return err
 			}
 		}
@@ -32,8 +32,8 @@
 }
 
 // routeScope holds a route to what its owner may use and match.
-func (s State) routeScope(r *Route) error {
-	sc := s.scope(r.Owner)
+func (s State) checkRouteScope(r *Route) error {
+	sc := s.effectiveScope(r.Owner)
 	for _, p := range r.ZoneShares {
 		if len(sc.Zones) > 0 && !slices.Contains(sc.Zones, p.Zone) {
 			return fmt.Errorf("route %q: zone %.64q is none that %q may use", r.Path(), p.Zone, r.Owner)
--- a/internal/fleet/account/shrink.go
+++ b/internal/fleet/account/shrink.go
@@ -8,10 +8,10 @@
 
 // child is a team or route that holds a part of its parent's limits.
 type child struct {
-	path     string
-	team     bool
-	priority int
-	f        [6]int64
+	path        string
+	isTeam      bool
+	priority    int
+	thousandths [6]int64
 }
 
 // children returns those of a node by path, teams first.
@@ -26,12 +26,12 @@
 			all = append(all, child{name, false, r.Priority, r.Limits.thousandths()})
 		}
 	}
-	slices.SortFunc(all, func(a, b child) int { return cmp.Or(flag(a.team, b.team), cmp.Compare(a.path, b.path)) })
+	slices.SortFunc(all, func(a, b child) int { return cmp.Or(compareTrueFirst(a.isTeam, b.isTeam), cmp.Compare(a.path, b.path)) })
 	return all
 }
 
 // flag orders what is true first.
-func flag(a, b bool) int {
+func compareTrueFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -43,50 +43,50 @@
 
 // shrink cuts a node's children to what it may hold, and theirs where that cuts them. A
 // team without a bound counts as holding all of its parent's limit.
-func (d *draft) shrink(path, how string) error {
-	n := d.Nodes[path]
-	all := d.children(path)
-	limit, allowed := n.Limits.thousandths(), n.allowed()
-	before := make([][6]int64, len(all))
-	for i := range all {
-		before[i] = all[i].f
+func (d *draft) shrinkChildren(path, policy string) error {
+	node := d.Nodes[path]
+	children := d.children(path)
+	limit, allowed := node.Limits.thousandths(), node.childAllowance()
+	before := make([][6]int64, len(children))
+	for kind := range children {
+		before[kind] = children[kind].thousandths
 	}
-	for i, room := range allowed {
-		if room < 0 {
+	for kind, allowance := range allowed {
+		if allowance < 0 {
 			continue
 		}
-		var of []*child
-		for k := range all {
-			c := &all[k]
-			if i == shared && !c.team || i > shared && c.team {
-				room -= thousand // its own routes and teams
+		var holders []*child
+		for k := range children {
+			c := &children[k]
+			if kind == amountKinds && !c.isTeam || kind > amountKinds && c.isTeam {
+				allowance -= thousand // its own routes and teams
 			}
-			if c.team || i < shared && c.f[i] >= 0 {
-				of = append(of, c)
+			if c.isTeam || kind < amountKinds && c.thousandths[kind] >= 0 {
+				holders = append(holders, c)
 			}
 		}
-		if room < 0 {
-			return fmt.Errorf("%q: has more %s than it would be allowed", path, figureNames[i])
+		if allowance < 0 {
+			return fmt.Errorf("%q: has more %s than it would be allowed", path, limitNames[kind])
 		}
-		cut(of, i, limit[i], room, how)
+		shrinkKind(holders, kind, limit[kind], allowance, policy)
 	}
-	for i, c := range all {
-		if c.f == before[i] {
+	for kind, c := range children {
+		if c.thousandths == before[kind] {
 			continue
 		}
-		if !c.team {
-			r := *d.Routes[c.path]
-			routes, teams := r.Limits.Routes, r.Limits.Teams
-			r.Limits, r.Version = limitsOf(c.f), d.Version
-			r.Limits.Routes, r.Limits.Teams = routes, teams
-			d.Routes[c.path] = &r
+		if !c.isTeam {
+			route := *d.Routes[c.path]
+			routes, teams := route.Limits.Routes, route.Limits.Teams
+			route.Limits, route.Version = limitsFromThousandths(c.thousandths), d.Version
+			route.Limits.Routes, route.Limits.Teams = routes, teams
+			d.Routes[c.path] = &route
 			continue
 		}
-		t := *d.Nodes[c.path]
-		t.Limits, t.Version = limitsOf(c.f), d.Version
-		d.Nodes[c.path] = &t
-		d.touch(c.path)
-		if err := d.shrink(c.path, how); err != nil {
+		team := *d.Nodes[c.path]
+		team.Limits, team.Version = limitsFromThousandths(c.thousandths), d.Version
+		d.Nodes[c.path] = &team
+		d.markTotalsChanged(c.path)
+		if err := d.shrinkChildren(c.path, policy); err != nil {
 			return err
 		}
 	}
@@ -94,31 +94,31 @@
 }
 
 // cut brings one figure of some children within a room.
-func cut(of []*child, i int, limit, room int64, how string) {
+func shrinkKind(holders []*child, kind int, limit, allowance int64, policy string) {
 	sum := int64(0)
-	for _, c := range of {
-		if c.f[i] < 0 {
-			c.f[i] = limit
+	for _, c := range holders {
+		if c.thousandths[kind] < 0 {
+			c.thousandths[kind] = limit
 		}
-		sum += c.f[i]
+		sum += c.thousandths[kind]
 	}
-	if sum <= room {
+	if sum <= allowance {
 		return
 	}
-	if how == ShrinkByPriority {
-		slices.SortStableFunc(of, func(a, b *child) int { return cmp.Compare(a.priority, b.priority) })
+	if policy == ShrinkByPriority {
+		slices.SortStableFunc(holders, func(a, b *child) int { return cmp.Compare(a.priority, b.priority) })
 	}
-	for _, c := range of {
-		if how == ShrinkByPriority {
-			c.f[i] = min(c.f[i], room)
+	for _, c := range holders {
+		if policy == ShrinkByPriority {
+			c.thousandths[kind] = min(c.thousandths[kind], allowance)
 		} else {
-			c.f[i] = times(c.f[i], room, sum)
+			c.thousandths[kind] = mulDiv(c.thousandths[kind], allowance, sum)
 		}
-		if i >= shared {
-			c.f[i] -= c.f[i] % thousand // counts are whole
+		if kind >= amountKinds {
+			c.thousandths[kind] -= c.thousandths[kind] % thousand // counts are whole
 		}
-		if how == ShrinkByPriority {
-			room -= c.f[i]
+		if policy == ShrinkByPriority {
+			allowance -= c.thousandths[kind]
 		}
 	}
 }
--- a/internal/fleet/account/state.go
+++ b/internal/fleet/account/state.go
@@ -34,9 +34,9 @@
 
 // The tree is bounded, as every member holds all of it.
 const (
-	mostNodes, mostRoutes, mostGrants = 8192, 16384, 4096
-	mostOps, mostNames, mostParts     = 256, 64, 32
-	mostDeep, mostName, mostHandedOn  = 8, 32, 8
+	maxNodes, maxRoutes, maxGrants             = 8192, 16384, 4096
+	maxOps, maxScopeNames, maxZoneShares       = 256, 64, 32
+	maxDepth, maxNameBytes, maxDelegationDepth = 8, 32, 8
 )
 
 // New returns the state in which only the root key may do anything.
@@ -50,7 +50,7 @@
 
 // Public returns the public key of that name, of whoever holds a grant, or of the root.
 func (s State) PublicKey(key string) ([]byte, bool) {
-	if s.isRoot(key) {
+	if s.isRootKey(key) {
 		return s.RootKey, true
 	}
 	for _, g := range s.Grants { // all of one name are of one key
@@ -61,7 +61,7 @@
 	return nil, false
 }
 
-func (s State) isRoot(key string) bool { return len(s.RootKey) > 0 && key == KeyName(s.RootKey) }
+func (s State) isRootKey(key string) bool { return len(s.RootKey) > 0 && key == KeyName(s.RootKey) }
 
 // MayPromise tells whether who has the key may give contracts to a holder: an account, a
 // team, or a route by its path.
@@ -70,11 +70,11 @@
 	if s.Nodes[path] == nil || ofRoute && s.Routes[holder] == nil {
 		return fmt.Errorf("holder %.80q: no such account, team or route", holder)
 	}
-	return s.may(key, PermissionContracts, path)
+	return s.authorize(key, PermissionContracts, path)
 }
 
 // inside tells whether a path is in the subtree of another.
-func inside(path, top string) bool {
+func isInSubtree(path, top string) bool {
 	return path == top || strings.HasPrefix(path, top) && len(path) > len(top) && path[len(top)] == '/'
 }
 
@@ -84,7 +84,7 @@
 }
 
 // sorted returns a map's keys in order.
-func sorted[V any](m map[string]V) []string {
+func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
@@ -93,28 +93,28 @@
 	return keys
 }
 
-func goodName(name string) bool {
-	return name != "" && len(name) <= mostName && !strings.ContainsFunc(name, func(r rune) bool {
+func isValidName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && !strings.ContainsFunc(name, func(r rune) bool {
 		return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.')
 	})
 }
 
 // goodPath returns why a path can't be one.
-func goodPath(path string) error {
+func checkPath(path string) error {
 	names := strings.Split(path, "/")
-	if len(names) > mostDeep {
-		return fmt.Errorf("%.80q: more than %d levels", path, mostDeep)
+	if len(names) > maxDepth {
+		return fmt.Errorf("%.80q: more than %d levels", path, maxDepth)
 	}
 	for _, name := range names {
-		if !goodName(name) {
-			return fmt.Errorf("%.80q: want names of a-z, 0-9, '-', '_' and '.', %d letters at most, with '/' between", path, mostName)
+		if !isValidName(name) {
+			return fmt.Errorf("%.80q: want names of a-z, 0-9, '-', '_' and '.', %d letters at most, with '/' between", path, maxNameBytes)
 		}
 	}
 	return nil
 }
 
 // scope returns what counts on a path: each list is its own or the nearest one above.
-func (s State) scope(path string) (sc Scope) {
+func (s State) effectiveScope(path string) (sc Scope) {
 	or := func(a, b []string) []string {
 		if len(a) > 0 {
 			return a
@@ -130,10 +130,10 @@
 }
 
 // Zones returns the zones and regions that an account or team may use; nil for all.
-func (s State) AllowedZones(path string) []string { return s.scope(path).Zones }
+func (s State) AllowedZones(path string) []string { return s.effectiveScope(path).Zones }
 
 // Paths returns the accounts' and teams' paths in order.
-func (s State) NodePaths() []string { return sorted(s.Nodes) }
+func (s State) NodePaths() []string { return sortedKeys(s.Nodes) }
 
 // Given returns the grants by path, then key.
 func (s State) SortedGrants() []*Grant {
--- a/internal/fleet/account/use.go
+++ b/internal/fleet/account/use.go
@@ -13,11 +13,13 @@
 	Probes      float64 `json:"probes,omitempty"`
 }
 
-func (f Amounts) array() [shared]float64 {
-	return [shared]float64{f.Connections, f.Setups, f.Retries, f.Probes}
+func (a Amounts) values() [amountKinds]float64 {
+	return [amountKinds]float64{a.Connections, a.Setups, a.Retries, a.Probes}
 }
 
-func figuresOf(a [shared]float64) Amounts { return Amounts{a[0], a[1], a[2], a[3]} }
+func amountsOf(values [amountKinds]float64) Amounts {
+	return Amounts{values[0], values[1], values[2], values[3]}
+}
 
 // Use is one member's word of what it uses, by the path of account, team or route. What a
 // route uses its owner and all above use too.
@@ -33,8 +35,8 @@
 }
 
 const (
-	mostPaths   = mostNodes + mostRoutes
-	mostMembers = 1024
+	maxUsagePaths = maxNodes + maxRoutes
+	maxMembers    = 1024
 )
 
 // Sound tells whether a word can be true: it comes from outside. One that can't is no word.
@@ -42,13 +44,13 @@
 	if u.Member == "" || len(u.Member) > 64 {
 		return false
 	}
-	for _, m := range [3]map[string]Amounts{u.Used, u.UsedBefore, u.Demand} {
-		if len(m) > mostPaths {
+	for _, amountsByPath := range [3]map[string]Amounts{u.Used, u.UsedBefore, u.Demand} {
+		if len(amountsByPath) > maxUsagePaths {
 			return false
 		}
-		for _, f := range m {
-			for _, x := range f.array() {
-				if !(x >= 0 && x <= greatest) {
+		for _, amounts := range amountsByPath {
+			for _, value := range amounts.values() {
+				if !(value >= 0 && value <= maxLimit) {
 					return false
 				}
 			}
@@ -58,11 +60,11 @@
 }
 
 // spent returns what a member says, after a first half's end, to have spent in that half.
-func (u *Usage) spent(first int64, end time.Duration) (map[string]Amounts, bool) {
+func (u *Usage) spentIn(firstHalf int64, end time.Duration) (map[string]Amounts, bool) {
 	switch {
-	case u.HalfEpoch == first && u.ReportedAt >= end:
+	case u.HalfEpoch == firstHalf && u.ReportedAt >= end:
 		return u.Used, true
-	case u.HalfEpoch == first+1:
+	case u.HalfEpoch == firstHalf+1:
 		return u.UsedBefore, true
 	}
 	return nil, false
@@ -85,13 +87,13 @@
 		return "epoch"
 	case c.HolderTimeout < c.Epoch:
 		return "hold"
-	case c.FleetSize < 0 || c.FleetSize > mostMembers:
+	case c.FleetSize < 0 || c.FleetSize > maxMembers:
 		return "full"
 	}
 	return ""
 }
 
-func (c LeaseConfig) half(now time.Duration) int64 { return int64(now / (c.Epoch / 2)) }
+func (c LeaseConfig) halfEpoch(now time.Duration) int64 { return int64(now / (c.Epoch / 2)) }
 
 // Rights are what a member may use within one half epoch. Every transaction counts on its
 // route and on each level above, and needs room on all of them: siblings' rights may add up
@@ -107,30 +109,30 @@
 
 // whole returns a limit's tokens for an epoch, of which a fraction becomes one more in as
 // many epochs.
-func (c LeaseConfig) whole(path string, i int, limit, epoch int64) int64 {
-	millionths := times(limit, c.Epoch.Milliseconds(), 1)
-	n := millionths / 1e6
-	if int64(hash(path, uint64(i), uint64(epoch))%1e6) < millionths%1e6 {
-		n++
+func (c LeaseConfig) epochTokens(path string, kind int, limit, epoch int64) int64 {
+	millionths := mulDiv(limit, c.Epoch.Milliseconds(), 1)
+	tokens := millionths / 1e6
+	if int64(hash(path, uint64(kind), uint64(epoch))%1e6) < millionths%1e6 {
+		tokens++
 	}
-	return n
+	return tokens
 }
 
 // even returns the tokens of one half of who has a place among n, by its even part alone.
 // All n together have no more than half of the limit's for an epoch, and one.
-func (c LeaseConfig) even(limit, half int64, place, n int) int64 {
-	millionths, all := times(limit, c.Epoch.Milliseconds()/2, 1), int64(n)*1e6
-	rest, h, phase := millionths%all, half%all, int64(place)*1e6
-	return millionths/all + (rest*(h+1)+phase)/all - (rest*h+phase)/all
+func (c LeaseConfig) evenTokens(limit, halfEpoch int64, rank, count int) int64 {
+	millionths, divisor := mulDiv(limit, c.Epoch.Milliseconds()/2, 1), int64(count)*1e6
+	remainder, h, phase := millionths%divisor, halfEpoch%divisor, int64(rank)*1e6
+	return millionths/divisor + (remainder*(h+1)+phase)/divisor - (remainder*h+phase)/divisor
 }
 
 // part returns one of n places' part of some tokens. More tokens never mean fewer for any.
-func part(tokens int64, place, n int) int64 {
-	p := tokens / int64(n)
-	if int64(place) < tokens%int64(n) {
-		p++
+func shareOf(tokens int64, rank, count int) int64 {
+	share := tokens / int64(count)
+	if int64(rank) < tokens%int64(count) {
+		share++
 	}
-	return p
+	return share
 }
 
-func ceil(x float64) int64 { return int64(math.Ceil(x)) }
+func ceilToken(x float64) int64 { return int64(math.Ceil(x)) }
