--- a/internal/resumption/session.go
+++ b/internal/resumption/session.go
@@ -26,58 +26,58 @@
 
 // Continuity returns a caller's session and takes its token out of the line that
 // next hops get.
-func (s Factory) Resumption(o *lineproto.ConnectRequest) proxy.Resumption {
-	c := &session{tokens: s.Tokens, key: o.Key, group: o.Group, came: time.Now()}
-	if o.ResumeToken != lineproto.ResumeWanted {
-		c.token = o.ResumeToken
+func (f Factory) Resumption(request *lineproto.ConnectRequest) proxy.Resumption {
+	s := &sessionResumption{tokens: f.Tokens, flowKey: request.Key, group: request.Group, acceptedAt: time.Now()}
+	if request.ResumeToken != lineproto.ResumeWanted {
+		s.presentedToken = request.ResumeToken
 	}
-	if pos, err := resumetoken.ParsePosition(o.ResumePosition); err == nil {
-		c.floor = resumetoken.Outcome{HasMinPosition: true, Position: pos}
+	if position, err := resumetoken.ParsePosition(request.ResumePosition); err == nil {
+		s.claimedPosition = resumetoken.Outcome{HasMinPosition: true, Position: position}
 	}
-	o.StripResumption()
-	return c
+	request.StripResumption()
+	return s
 }
 
 // session is one caller's. Begin runs beside the others, which belong to the relay.
-type session struct {
-	tokens      TokenService
-	key, group  string
-	token       string              // that it presented; empty if none
-	floor       resumetoken.Outcome // what it says it has: it can only ask for no older
-	reading     lineproto.StreamPosition
-	came        time.Time
-	ticket      string
-	wasTicketed bool
+type sessionResumption struct {
+	tokens            TokenService
+	flowKey, group    string
+	presentedToken    string              // that it presented; empty if none
+	claimedPosition   resumetoken.Outcome // what it says it has: it can only ask for no older
+	streamPosition    lineproto.StreamPosition
+	acceptedAt        time.Time
+	moveToken         string
+	isMoveTokenMinted bool
 }
 
 // Begin redeems the token now that a next hop has taken the caller: one that gets
 // a busy answer keeps it unspent.
-func (c *session) StartLine(ctx context.Context, up string) string {
-	if !lineproto.IsResumable(up) {
+func (s *sessionResumption) StartLine(ctx context.Context, upLine string) string {
+	if !lineproto.IsResumable(upLine) {
 		return ""
 	}
-	o := c.floor
-	if c.token != "" {
-		got := c.tokens.Redeem(ctx, resumetoken.Presentation{Token: c.token, FlowKey: c.key, Group: c.group})
+	outcome := s.claimedPosition
+	if s.presentedToken != "" {
+		redeemed := s.tokens.Redeem(ctx, resumetoken.Presentation{Token: s.presentedToken, FlowKey: s.flowKey, Group: s.group})
 		// Spent, a token still proves what its caller has seen; the caller itself may
 		// say that it has seen more since.
-		later := o.HasMinPosition && o.Position.Epoch == got.Position.Epoch && o.Position.Offset > got.Position.Offset
-		if got.CanResume || got.HasMinPosition && !later {
-			o = got
+		claimIsLater := outcome.HasMinPosition && outcome.Position.Epoch == redeemed.Position.Epoch && outcome.Position.Offset > redeemed.Position.Offset
+		if redeemed.CanResume || redeemed.HasMinPosition && !claimIsLater {
+			outcome = redeemed
 		}
 	}
-	return lineproto.FormatStreamStart(o, c.came)
+	return lineproto.FormatStreamStart(outcome, s.acceptedAt)
 }
 
-func (c *session) Observe(text []byte) { c.reading.Observe(text) }
+func (s *sessionResumption) Observe(text []byte) { s.streamPosition.Observe(text) }
 
 // Ticket is minted once: a caller that is told twice to move has one token.
-func (c *session) Token() string {
-	if !c.wasTicketed {
-		c.wasTicketed = true
-		if pos, ok := c.reading.Position(); ok {
-			c.ticket = c.tokens.Mint(c.key, c.group, pos)
+func (s *sessionResumption) Token() string {
+	if !s.isMoveTokenMinted {
+		s.isMoveTokenMinted = true
+		if position, ok := s.streamPosition.Position(); ok {
+			s.moveToken = s.tokens.Mint(s.flowKey, s.group, position)
 		}
 	}
-	return c.ticket
+	return s.moveToken
 }
