--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,7 +50,7 @@
 	QuarantinePath   string // where an untrusted file was moved; empty if there was none
 	QuarantineReason error  // what was wrong with that file
 	db               *bolt.DB
-	owner            string // the file that tells who has it
+	ownerPath        string // the file that tells who has it
 }
 
 var (
@@ -65,114 +65,114 @@
 )
 
 var (
-	metaBucket = []byte("meta")
-	kindKey    = []byte("kind")
-	layoutKey  = []byte("layout")
-	idKey      = []byte("id")
+	metadataBucket   = []byte("meta")
+	kindKey          = []byte("kind")
+	layoutVersionKey = []byte("layout")
+	idKey            = []byte("id")
 )
 
 // Open opens the store at path, or makes one. A file that is torn, foreign or
 // newer is set aside and a fresh store made in its place, which has another ID;
 // Aside and Why tell of it. With ReadOnly it is an error instead.
-func Open(path string, schema Schema, o Options) (*Store, error) {
-	if !o.ReadOnly {
+func Open(path string, schema Schema, options Options) (*Store, error) {
+	if !options.ReadOnly {
 		if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
 			return nil, fmt.Errorf("store %s: %w", path, err)
 		}
 	}
-	s, err := open(path, schema, o)
-	if err == nil || o.ReadOnly || !setsAside(err) {
+	s, err := open(path, schema, options)
+	if err == nil || options.ReadOnly || !needsQuarantine(err) {
 		return s, err
 	}
-	aside, failed := setAside(path, err)
-	if failed != nil {
-		return nil, errors.Join(err, failed)
+	quarantinePath, quarantineErr := quarantine(path, err)
+	if quarantineErr != nil {
+		return nil, errors.Join(err, quarantineErr)
 	}
-	why := err
-	if s, err = open(path, schema, o); err != nil {
+	reason := err
+	if s, err = open(path, schema, options); err != nil {
 		return nil, err
 	}
-	s.QuarantinePath, s.QuarantineReason = aside, why
+	s.QuarantinePath, s.QuarantineReason = quarantinePath, reason
 	return s, nil
 }
 
-func setsAside(err error) bool {
+func needsQuarantine(err error) bool {
 	return errors.Is(err, ErrCorrupt) || errors.Is(err, ErrUnrecognized) || errors.Is(err, ErrNewerLayout)
 }
 
 // setAside moves the file to a name of its own that tells why.
-func setAside(path string, why error) (string, error) {
-	word := "torn"
+func quarantine(path string, reason error) (string, error) {
+	suffix := "torn"
 	switch {
-	case errors.Is(why, ErrNewerLayout):
-		word = "newer"
-	case errors.Is(why, ErrUnrecognized):
-		word = "foreign"
+	case errors.Is(reason, ErrNewerLayout):
+		suffix = "newer"
+	case errors.Is(reason, ErrUnrecognized):
+		suffix = "foreign"
 	}
-	for n := 1; ; n++ {
-		aside := fmt.Sprintf("%s.%s-%d", path, word, n)
+	for attempt := 1; ; attempt++ {
+		quarantinePath := fmt.Sprintf("%s.%s-%d", path, suffix, attempt)
 		// Link fails where the name is taken, which a rename would overwrite.
-		err := os.Link(path, aside)
+		err := os.Link(path, quarantinePath)
 		if errors.Is(err, os.ErrExist) {
 			continue
 		}
 		if err != nil {
 			return "", fmt.Errorf("store %s: set aside: %w", path, err)
 		}
-		return aside, os.Remove(path)
+		return quarantinePath, os.Remove(path)
 	}
 }
 
-func open(path string, schema Schema, o Options) (s *Store, err error) {
+func open(path string, schema Schema, options Options) (s *Store, err error) {
 	// A damaged file may send bbolt to pages that are not there, which panics or,
 	// in the mapped file, faults. So it is inspected first, under the lock, that
 	// nobody writes meanwhile.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	var db *bolt.DB
 	defer func() {
-		if p := recover(); p != nil {
-			s, err = nil, fmt.Errorf("store %s: %w: %v", path, ErrCorrupt, p)
+		if fault := recover(); fault != nil {
+			s, err = nil, fmt.Errorf("store %s: %w: %v", path, ErrCorrupt, fault)
 		}
 		if err != nil && db != nil {
 			_ = db.Close()
 		}
 	}()
-	owner := path + ".owner"
-	held, err := lock(path, o)
+	ownerPath := path + ".owner"
+	lockFile, err := acquireLock(path, options)
 	if err != nil {
-		return nil, fmt.Errorf("store %s: %w%s", path, err, who(owner))
+		return nil, fmt.Errorf("store %s: %w%s", path, err, describeOwner(ownerPath))
 	}
-	err = inspect(path)
-	_ = held.Close() // another process may come between: then bbolt's own lock tells
+	err = verifyFile(path)
+	_ = lockFile.Close() // another process may come between: then bbolt's own lock tells
 	if err != nil {
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: max(o.LockTimeout, 20*time.Millisecond), MaxSize: o.MaxBytes,
-		ReadOnly: o.ReadOnly, NoSync: o.NoSync, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
+	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: max(options.LockTimeout, 20*time.Millisecond), MaxSize: options.MaxBytes,
+		ReadOnly: options.ReadOnly, NoSync: options.NoSync, FreelistType: bolt.FreelistMapType, NoFreelistSync: true})
 	switch {
 	case errors.Is(err, bolt.ErrTimeout):
-		return nil, fmt.Errorf("store %s: %w%s", path, ErrLocked, who(owner))
+		return nil, fmt.Errorf("store %s: %w%s", path, ErrLocked, describeOwner(ownerPath))
 	case errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission):
 		return nil, fmt.Errorf("store %s: %w", path, err)
-	case err != nil && isDamage(err):
+	case err != nil && isCorruption(err):
 		return nil, fmt.Errorf("store %s: %w: %w", path, ErrCorrupt, err)
 	case err != nil:
 		return nil, fmt.Errorf("store %s: %w", path, err)
 	}
-	s = &Store{db: db, owner: owner}
-	if err := s.identify(path, schema, o); err != nil {
+	s = &Store{db: db, ownerPath: ownerPath}
+	if err := s.checkMetadata(path, schema, options); err != nil {
 		return nil, err
 	}
-	if !o.ReadOnly {
-		me := fmt.Sprintf("pid %d (%s)\n", os.Getpid(), filepath.Base(os.Args[0]))
-		_ = os.WriteFile(owner, []byte(me), 0o600) // only for people
+	if !options.ReadOnly {
+		ownerText := fmt.Sprintf("pid %d (%s)\n", os.Getpid(), filepath.Base(os.Args[0]))
+		_ = os.WriteFile(ownerPath, []byte(ownerText), 0o600) // only for people
 	}
 	return s, nil
 }
 
-func isDamage(err error) bool {
-	for _, damage := range []error{bolt.ErrInvalid, bolt.ErrVersionMismatch, bolt.ErrChecksum} {
-		if errors.Is(err, damage) {
+func isCorruption(err error) bool {
+	for _, corruption := range []error{bolt.ErrInvalid, bolt.ErrVersionMismatch, bolt.ErrChecksum} {
+		if errors.Is(err, corruption) {
 			return true
 		}
 	}
@@ -180,33 +180,33 @@
 }
 
 // who tells who has the store, as far as is known.
-func who(owner string) string {
-	b, err := os.ReadFile(owner)
-	if err != nil || len(b) == 0 {
+func describeOwner(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil || len(text) == 0 {
 		return ""
 	}
-	return ": " + strings.TrimSpace(string(b[:min(len(b), 200)]))
+	return ": " + strings.TrimSpace(string(text[:min(len(text), 200)]))
 }
 
 // identify checks kind and layout, and brings the layout up to date.
-func (s *Store) identify(path string, schema Schema, o Options) error {
+func (s *Store) checkMetadata(path string, schema Schema, options Options) error {
 	layout := uint64(0)
 	err := s.db.View(func(tx *Tx) error {
-		meta := tx.Bucket(metaBucket)
-		if meta == nil {
+		metadata := tx.Bucket(metadataBucket)
+		if metadata == nil {
 			if k, _ := tx.Cursor().First(); k != nil {
 				return ErrUnrecognized
 			}
 			return nil
 		}
-		if kind := string(meta.Get(kindKey)); kind != schema.Kind {
+		if kind := string(metadata.Get(kindKey)); kind != schema.Kind {
 			return fmt.Errorf("%w: it is %.40q, not %q", ErrUnrecognized, kind, schema.Kind)
 		}
-		b, id := meta.Get(layoutKey), meta.Get(idKey)
-		if len(b) != 8 || len(id) != len(s.ID) {
+		layoutBytes, id := metadata.Get(layoutVersionKey), metadata.Get(idKey)
+		if len(layoutBytes) != 8 || len(id) != len(s.ID) {
 			return fmt.Errorf("%w: no layout or identity", ErrCorrupt)
 		}
-		layout = binary.BigEndian.Uint64(b)
+		layout = binary.BigEndian.Uint64(layoutBytes)
 		copy(s.ID[:], id)
 		if layout > uint64(len(schema.Migrations)) {
 			return fmt.Errorf("%w: layout %d, this one knows %d", ErrNewerLayout, layout, len(schema.Migrations))
@@ -219,17 +219,17 @@
 	if layout == uint64(len(schema.Migrations)) {
 		return nil
 	}
-	if o.ReadOnly {
+	if options.ReadOnly {
 		return fmt.Errorf("store %s: layout %d, not yet brought to %d", path, layout, len(schema.Migrations))
 	}
 	err = s.db.Update(func(tx *Tx) error {
-		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		metadata, err := tx.CreateBucketIfNotExists(metadataBucket)
 		if err != nil {
 			return err
 		}
 		if layout == 0 {
 			_, _ = rand.Read(s.ID[:])
-			if err := errors.Join(meta.Put(idKey, s.ID[:]), meta.Put(kindKey, []byte(schema.Kind))); err != nil {
+			if err := errors.Join(metadata.Put(idKey, s.ID[:]), metadata.Put(kindKey, []byte(schema.Kind))); err != nil {
 				return err
 			}
 		}
@@ -238,7 +238,7 @@
 				return fmt.Errorf("to layout %d: %w", layout+1, err)
 			}
 		}
-		return meta.Put(layoutKey, binary.BigEndian.AppendUint64(nil, layout))
+		return metadata.Put(layoutVersionKey, binary.BigEndian.AppendUint64(nil, layout))
 	})
 	if err != nil {
 		return fmt.Errorf("store %s: migration: %w", path, err)
@@ -249,7 +249,7 @@
 // Layout is the layout that the file has.
 func (s *Store) Layout() (layout uint64) {
 	_ = s.View(func(tx *Tx) error {
-		if b := tx.Bucket(metaBucket).Get(layoutKey); len(b) == 8 {
+		if b := tx.Bucket(metadataBucket).Get(layoutVersionKey); len(b) == 8 {
 			layout = binary.BigEndian.Uint64(b)
 		}
 		return nil
@@ -258,33 +258,37 @@
 }
 
 // View reads.
-func (s *Store) View(f func(*Tx) error) error { return guard(func() error { return s.db.View(f) }) }
+func (s *Store) View(f func(*Tx) error) error {
+	return recoverFault(func() error { return s.db.View(f) })
+}
 
 // Update writes one transaction; it is durable when Update returns without error.
-func (s *Store) Update(f func(*Tx) error) error { return guard(func() error { return s.db.Update(f) }) }
+func (s *Store) Update(f func(*Tx) error) error {
+	return recoverFault(func() error { return s.db.Update(f) })
+}
 
 // guard turns what a damaged page does to bbolt into an error: one store that goes
 // bad must not end the node.
-func guard(f func() error) (err error) {
+func recoverFault(f func() error) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("%w: %v", ErrCorrupt, p)
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("%w: %v", ErrCorrupt, fault)
 		}
 	}()
 	return f()
 }
 
 // Size is the file's size in bytes.
-func (s *Store) Size() (file int64) {
-	_ = s.View(func(tx *Tx) error { file = tx.Size(); return nil })
-	return file
+func (s *Store) Size() (size int64) {
+	_ = s.View(func(tx *Tx) error { size = tx.Size(); return nil })
+	return size
 }
 
 // Close lets the file go.
 func (s *Store) Close() error {
 	if !s.db.IsReadOnly() {
-		_ = os.Remove(s.owner)
+		_ = os.Remove(s.ownerPath)
 	}
 	return s.db.Close()
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,24 +12,24 @@
 	"testing"
 )
 
-var things = []byte("things")
+var itemsBucket = []byte("things")
 
 // schema's second layout adds a mark, so that a migration has something to do.
-var first = Schema{Kind: "test", Migrations: []func(*Tx) error{
-	func(tx *Tx) error { _, err := tx.CreateBucket(things); return err },
+var schemaV1 = Schema{Kind: "test", Migrations: []func(*Tx) error{
+	func(tx *Tx) error { _, err := tx.CreateBucket(itemsBucket); return err },
 }}
-var second = Schema{Kind: "test", Migrations: append(first.Migrations[:1:1],
-	func(tx *Tx) error { return tx.Bucket(things).Put([]byte("mark"), []byte("2")) })}
+var schemaV2 = Schema{Kind: "test", Migrations: append(schemaV1.Migrations[:1:1],
+	func(tx *Tx) error { return tx.Bucket(itemsBucket).Put([]byte("mark"), []byte("2")) })}
 
 func put(t *testing.T, s *Store, key, value string) {
 	t.Helper()
-	if err := s.Update(func(tx *Tx) error { return tx.Bucket(things).Put([]byte(key), []byte(value)) }); err != nil {
+	if err := s.Update(func(tx *Tx) error { return tx.Bucket(itemsBucket).Put([]byte(key), []byte(value)) }); err != nil {
 		t.Fatal(err)
 	}
 }
 
 func get(s *Store, key string) (value string) {
-	_ = s.View(func(tx *Tx) error { value = string(tx.Bucket(things).Get([]byte(key))); return nil })
+	_ = s.View(func(tx *Tx) error { value = string(tx.Bucket(itemsBucket).Get([]byte(key))); return nil })
 	return value
 }
 
@@ -43,82 +43,82 @@
 	return s
 }
 
-func TestMigration(t *testing.T) {
+func TestMigratesLayoutAndQuarantinesNewerLayout(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "a", "x.db")
-	s := mustOpen(t, path, first)
+	s := mustOpen(t, path, schemaV1)
 	put(t, s, "k", "v")
 	id := s.ID
 	_ = s.Close()
-	if _, err := Open(path, second, Options{ReadOnly: true}); err == nil {
+	if _, err := Open(path, schemaV2, Options{ReadOnly: true}); err == nil {
 		t.Error("an older layout was passed off as the newer to a reader")
 	}
-	s = mustOpen(t, path, second)
+	s = mustOpen(t, path, schemaV2)
 	if s.ID != id || get(s, "k") != "v" || get(s, "mark") != "2" || s.Layout() != 2 || s.QuarantinePath != "" {
 		t.Errorf("after the migration: %v of %v, %q, layout %d, aside %q", s.ID, id, get(s, "mark"), s.Layout(), s.QuarantinePath)
 	}
 	_ = s.Close()
-	failing := Schema{Kind: "test", Migrations: append(second.Migrations[:2:2], func(tx *Tx) error {
-		_ = tx.Bucket(things).Put([]byte("k"), []byte("lost"))
+	failing := Schema{Kind: "test", Migrations: append(schemaV2.Migrations[:2:2], func(tx *Tx) error {
+		_ = tx.Bucket(itemsBucket).Put([]byte("k"), []byte("lost"))
 		return errors.New("no")
 	})}
 	if _, err := Open(path, failing, Options{}); err == nil {
 		t.Error("a migration that failed went through")
 	}
-	if s = mustOpen(t, path, second); get(s, "k") != "v" {
+	if s = mustOpen(t, path, schemaV2); get(s, "k") != "v" {
 		t.Error("a migration that failed left traces")
 	}
 	_ = s.Close()
 
-	s = mustOpen(t, path, first) // an older release finds a newer file
+	s = mustOpen(t, path, schemaV1) // an older release finds a newer file
 	if !errors.Is(s.QuarantineReason, ErrNewerLayout) || !strings.Contains(s.QuarantinePath, "newer") || s.ID == id || get(s, "k") != "" {
 		t.Errorf("newer file: aside %q, %v, id %v", s.QuarantinePath, s.QuarantineReason, s.ID)
 	}
-	if back := mustOpen(t, s.QuarantinePath, second); get(back, "k") != "v" {
+	if back := mustOpen(t, s.QuarantinePath, schemaV2); get(back, "k") != "v" {
 		t.Error("what was set aside is not whole")
 	}
 }
 
-func TestForeign(t *testing.T) {
+func TestQuarantinesUnrecognizedFile(t *testing.T) {
 	dir := t.TempDir()
 	for name, make := range map[string]func(path string){
 		"text": func(path string) { _ = os.WriteFile(path, []byte(strings.Repeat("dear diary\n", 5000)), 0o600) },
 		"other kind": func(path string) {
-			s := mustOpen(t, path, Schema{Kind: "other", Migrations: first.Migrations})
+			s := mustOpen(t, path, Schema{Kind: "other", Migrations: schemaV1.Migrations})
 			_ = s.Close()
 		},
 	} {
 		path := filepath.Join(dir, name)
 		make(path)
 		before, _ := os.ReadFile(path)
-		s := mustOpen(t, path, first)
+		s := mustOpen(t, path, schemaV1)
 		after, _ := os.ReadFile(s.QuarantinePath)
 		if !errors.Is(s.QuarantineReason, ErrUnrecognized) || !bytes.Equal(before, after) {
 			t.Errorf("%s: %v, aside %q", name, s.QuarantineReason, s.QuarantinePath)
 		}
-		if _, err := Open(path, Schema{Kind: "third", Migrations: first.Migrations}, Options{ReadOnly: true}); err == nil {
+		if _, err := Open(path, Schema{Kind: "third", Migrations: schemaV1.Migrations}, Options{ReadOnly: true}); err == nil {
 			t.Errorf("%s: a reader was given another kind", name)
 		}
 	}
 	if err := os.Mkdir(filepath.Join(dir, "folder"), 0o700); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Open(filepath.Join(dir, "folder"), first, Options{}); err == nil {
+	if _, err := Open(filepath.Join(dir, "folder"), schemaV1, Options{}); err == nil {
 		t.Error("a folder is no store")
 	}
 }
 
 // A file cut off at any length, or with any page spoiled, yields the store as it
 // was, or is set aside and said so: never a crash, never a part.
-func TestTorn(t *testing.T) {
+func TestCorruptFileIsNeverReadInPart(t *testing.T) {
 	dir := t.TempDir()
-	whole := filepath.Join(dir, "whole")
-	s := mustOpen(t, whole, first)
+	intactPath := filepath.Join(dir, "whole")
+	s := mustOpen(t, intactPath, schemaV1)
 	for i := range 50 {
 		put(t, s, fmt.Sprintf("k%02d", i), strings.Repeat("v", 300))
 	}
 	id := s.ID
 	_ = s.Close()
-	raw, err := os.ReadFile(whole)
+	raw, err := os.ReadFile(intactPath)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +127,7 @@
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		s, err := Open(path, first, Options{})
+		s, err := Open(path, schemaV1, Options{})
 		if err != nil {
 			t.Errorf("%s: %v", what, err)
 			return
@@ -152,65 +152,65 @@
 		check(fmt.Sprintf("cut to %d", n), raw[:n], true)
 	}
 	for at := 0; at < len(raw); at += 1024 {
-		spoiled := bytes.Clone(raw)
+		damaged := bytes.Clone(raw)
 		for i := range 64 {
-			spoiled[at+i] ^= 0xa5
+			damaged[at+i] ^= 0xa5
 		}
-		check(fmt.Sprintf("spoiled at %d", at), spoiled, false)
+		check(fmt.Sprintf("spoiled at %d", at), damaged, false)
 	}
 }
 
-func TestHeld(t *testing.T) {
+func TestReportsLockOwner(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "x.db")
-	s := mustOpen(t, path, first)
-	_, err := Open(path, first, Options{})
+	s := mustOpen(t, path, schemaV1)
+	_, err := Open(path, schemaV1, Options{})
 	if !errors.Is(err, ErrLocked) || !strings.Contains(err.Error(), fmt.Sprintf("pid %d", os.Getpid())) {
 		t.Errorf("held: %v, want one that names who has it", err)
 	}
 	_ = s.Close()
-	mustOpen(t, path, first)
+	mustOpen(t, path, schemaV1)
 }
 
-type write struct {
-	key  string
-	fail error
-	done chan error
+type testWrite struct {
+	key      string
+	applyErr error
+	done     chan error
 }
 
-func (w *write) Apply(tx *Tx) error {
-	if w.fail != nil {
-		return w.fail
+func (w *testWrite) Apply(tx *Tx) error {
+	if w.applyErr != nil {
+		return w.applyErr
 	}
-	return tx.Bucket(things).Put([]byte(w.key), []byte("v"))
+	return tx.Bucket(itemsBucket).Put([]byte(w.key), []byte("v"))
 }
-func (w *write) Done(err error) { w.done <- err }
+func (w *testWrite) Done(err error) { w.done <- err }
 
 // What is told to be written is; a group that fails leaves nothing, and the next
 // goes on.
-func TestWriter(t *testing.T) {
-	s := mustOpen(t, filepath.Join(t.TempDir(), "x.db"), first)
+func TestWriterCommitsBatchesAtomically(t *testing.T) {
+	s := mustOpen(t, filepath.Join(t.TempDir(), "x.db"), schemaV1)
 	w := NewWriter(s, 8, 32)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	bad := &write{key: "bad", fail: errors.New("no"), done: make(chan error, 1)}
-	beside := &write{key: "beside", done: make(chan error, 1)}
-	w.Submit(beside)
+	done := make(chan struct{})
+	bad := &testWrite{key: "bad", applyErr: errors.New("no"), done: make(chan error, 1)}
+	sibling := &testWrite{key: "beside", done: make(chan error, 1)}
+	w.Submit(sibling)
 	w.Submit(bad) // one group with beside, as nobody commits yet
 	for range 100 {
-		w.Submit(&write{key: "many", done: make(chan error, 1)})
+		w.Submit(&testWrite{key: "many", done: make(chan error, 1)})
 	}
-	late := &write{done: make(chan error, 1)}
-	if w.Submit(late); !errors.Is(<-late.done, ErrQueueFull) {
+	rejected := &testWrite{done: make(chan error, 1)}
+	if w.Submit(rejected); !errors.Is(<-rejected.done, ErrQueueFull) {
 		t.Error("too much waits, and nobody was told")
 	}
-	go func() { w.Run(ctx); close(ended) }()
-	if <-bad.done == nil || <-beside.done == nil || get(s, "beside") != "" {
+	go func() { w.Run(ctx); close(done) }()
+	if <-bad.done == nil || <-sibling.done == nil || get(s, "beside") != "" {
 		t.Error("a group that failed left a part")
 	}
 	var wg sync.WaitGroup
 	for i := range 20 {
 		wg.Go(func() {
-			x := &write{key: fmt.Sprint(i), done: make(chan error, 1)}
+			x := &testWrite{key: fmt.Sprint(i), done: make(chan error, 1)}
 			for w.Submit(x); ; w.Submit(x) {
 				err := <-x.done
 				if err == nil {
@@ -228,11 +228,11 @@
 	}
 	wg.Wait()
 	cancel()
-	<-ended
+	<-done
 }
 
-func TestFull(t *testing.T) {
-	s, err := Open(filepath.Join(t.TempDir(), "x.db"), first, Options{MaxBytes: 1 << 20})
+func TestStaysBelowMaxBytes(t *testing.T) {
+	s, err := Open(filepath.Join(t.TempDir(), "x.db"), schemaV1, Options{MaxBytes: 1 << 20})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -240,7 +240,7 @@
 	failed := false
 	for i := 0; i < 100 && !failed; i++ {
 		failed = s.Update(func(tx *Tx) error {
-			return tx.Bucket(things).Put([]byte(fmt.Sprint(i)), make([]byte, 64<<10))
+			return tx.Bucket(itemsBucket).Put([]byte(fmt.Sprint(i)), make([]byte, 64<<10))
 		}) != nil
 	}
 	if !failed {
--- a/internal/store/stored_test.go
+++ b/internal/store/stored_test.go
@@ -13,14 +13,14 @@
 //	go test ./internal/store -run TestReadsStoredFile -update
 var update = flag.Bool("update", false, "rewrite testdata/stored")
 
-const storedFile = "testdata/stored/store.db"
+const storedPath = "testdata/stored/store.db"
 
 var storedID = ID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
 
 // writeStore makes a store that differs from storedFile at most in how pages are laid out.
 func writeStore(t *testing.T, path string) {
 	t.Helper()
-	s := mustOpen(t, path, second)
+	s := mustOpen(t, path, schemaV2)
 	if err := s.Update(func(tx *Tx) error { return tx.Bucket([]byte("meta")).Put([]byte("id"), storedID[:]) }); err != nil {
 		t.Fatal(err)
 	}
@@ -34,22 +34,22 @@
 func copyStored(t *testing.T) string {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "copy")
-	if err := os.CopyFS(dir, os.DirFS(filepath.Dir(storedFile))); err != nil {
+	if err := os.CopyFS(dir, os.DirFS(filepath.Dir(storedPath))); err != nil {
 		t.Fatal(err)
 	}
-	return filepath.Join(dir, filepath.Base(storedFile))
+	return filepath.Join(dir, filepath.Base(storedPath))
 }
 
 // Kind, layout and identity stand where they did, in a stored file and in a new one.
 func TestReadsStoredFile(t *testing.T) {
 	if *update {
-		_ = os.Remove(storedFile)
-		writeStore(t, storedFile)
+		_ = os.Remove(storedPath)
+		writeStore(t, storedPath)
 	}
 	fresh := filepath.Join(t.TempDir(), "store.db")
 	writeStore(t, fresh)
 	for name, path := range map[string]string{"stored": copyStored(t), "written now": fresh} {
-		s := mustOpen(t, path, second)
+		s := mustOpen(t, path, schemaV2)
 		if s.ID != storedID || s.ID.String() != "0a1b2c3d4e5f6071" || s.Layout() != 2 || s.QuarantinePath != "" || s.QuarantineReason != nil {
 			t.Errorf("%s: id %v, layout %d, aside %q: %v", name, s.ID, s.Layout(), s.QuarantinePath, s.QuarantineReason)
 		}
@@ -76,8 +76,8 @@
 }
 
 // The names under which a file that can't be used is found.
-func TestSetAsideNames(t *testing.T) {
-	spoil := func(path string) {
+func TestQuarantineFileNames(t *testing.T) {
+	truncate := func(path string) {
 		if err := os.Truncate(path, 4096+512); err != nil {
 			t.Fatal(err)
 		}
@@ -86,9 +86,9 @@
 		spoil  func(path string)
 		schema Schema
 	}{
-		".newer-1":   {func(string) {}, first},
-		".foreign-1": {func(string) {}, Schema{Kind: "other", Migrations: second.Migrations}},
-		".torn-1":    {spoil, second},
+		".newer-1":   {func(string) {}, schemaV1},
+		".foreign-1": {func(string) {}, Schema{Kind: "other", Migrations: schemaV2.Migrations}},
+		".torn-1":    {truncate, schemaV2},
 	} {
 		path := copyStored(t)
 		c.spoil(path)
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -19,61 +19,61 @@
 // synced: the disk's sync is paid once for a group, and a lone write waits for
 // nobody.
 type Writer struct {
-	store *Store
-	most  int
-	queue chan Write
+	store    *Store
+	maxBatch int
+	queue    chan Write
 }
 
 // NewWriter returns a Writer that commits up to most writes at once and lets so
 // many wait.
-func NewWriter(s *Store, most, waiting int) *Writer {
-	return &Writer{store: s, most: most, queue: make(chan Write, waiting)}
+func NewWriter(store *Store, maxBatch, queueSize int) *Writer {
+	return &Writer{store: store, maxBatch: maxBatch, queue: make(chan Write, queueSize)}
 }
 
 // Submit queues a write and returns at once. If too much waits it is told so.
-func (w *Writer) Submit(x Write) {
+func (w *Writer) Submit(write Write) {
 	select {
-	case w.queue <- x:
+	case w.queue <- write:
 	default:
-		x.Done(ErrQueueFull)
+		write.Done(ErrQueueFull)
 	}
 }
 
 // Run commits until ctx ends; what waits then is committed first.
 func (w *Writer) Run(ctx context.Context) {
-	group := make([]Write, 0, w.most)
+	batch := make([]Write, 0, w.maxBatch)
 	for {
-		group = group[:0]
+		batch = batch[:0]
 		select {
-		case x := <-w.queue:
-			group = append(group, x)
+		case write := <-w.queue:
+			batch = append(batch, write)
 		case <-ctx.Done():
 			select {
-			case x := <-w.queue:
-				group = append(group, x)
+			case write := <-w.queue:
+				batch = append(batch, write)
 			default:
 				return
 			}
 		}
 	more:
-		for len(group) < w.most {
+		for len(batch) < w.maxBatch {
 			select {
-			case x := <-w.queue:
-				group = append(group, x)
+			case write := <-w.queue:
+				batch = append(batch, write)
 			default:
 				break more
 			}
 		}
 		err := w.store.Update(func(tx *Tx) error {
-			for _, x := range group {
-				if err := x.Apply(tx); err != nil {
+			for _, write := range batch {
+				if err := write.Apply(tx); err != nil {
 					return err
 				}
 			}
 			return nil
 		})
-		for _, x := range group {
-			x.Done(err)
+		for _, write := range batch {
+			write.Done(err)
 		}
 	}
 }
