--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -60,7 +60,7 @@
 // The ends.
 const (
 	EndServed         EndReason = iota // the next hop said so
-	EndMoved                           // the caller was asked to come again, by either of us
+	EndMigrated                        // the caller was asked to come again, by either of us
 	EndUpstreamClosed                  // the next hop broke it off
 	EndUpstreamSilent                  // the next hop stopped answering, or says what is no line
 	EndClientClosed                    // the caller ended it
@@ -68,8 +68,8 @@
 )
 
 // outcome is what the module is told of it.
-func (e EndReason) outcome() balance.Outcome {
-	switch e {
+func (r EndReason) outcome() balance.Outcome {
+	switch r {
 	case EndServed:
 		return balance.OK
 	case EndUpstreamClosed, EndUpstreamSilent:
@@ -87,10 +87,10 @@
 
 // answer is what the deciding side hands to the caller's side.
 type answer struct {
-	line string        // empty where another process has given it
-	hop  *bufconn.Conn // set if the line is a next hop's UP
-	from string        // and then: whose
-	busy bool          // else: it refuses rather than fails
+	line     string        // empty where another process has given it
+	upstream *bufconn.Conn // set if the line is a next hop's UP
+	server   string        // and then: whose
+	rejected bool          // else: it refuses rather than fails
 }
 
 // Transaction is one request and the connection it becomes.
@@ -100,111 +100,111 @@
 	Resumption                // nil if its caller did not ask for it
 	Metrics    *metrics.Class // counts its answer as written; nil if nobody asks
 
-	front  Codec
-	watch  Observer
-	caller *bufconn.Conn
-
-	ctx    context.Context // ends when the caller has left or is answered
-	cancel context.CancelFunc
-	final  chan answer // holds the one final answer
-
-	mu      sync.Mutex
-	settled bool          // a final answer was given, or the caller has left
-	gone    bool          // the caller has left
-	hop     *bufconn.Conn // after UP
-	server  string        // and whose it is
-	heir    Successor     // who is to go on with it; nil if nobody
-	offered bool          // it has been asked
-	moving  bool          // a MOVE is wanted
-	closing bool          // the caller leg is about to be closed
-	pending time.Time     // when the oldest unanswered line of the caller went on
-	looked  bool          // it was found missing, and is looked for once more
+	codec    Codec
+	observer Observer
+	client   *bufconn.Conn
+
+	ctx         context.Context // ends when the caller has left or is answered
+	cancel      context.CancelFunc
+	finalAnswer chan answer // holds the one final answer
+
+	mu              sync.Mutex
+	settled         bool          // a final answer was given, or the caller has left
+	clientGone      bool          // the caller has left
+	upstream        *bufconn.Conn // after UP
+	server          string        // and whose it is
+	successor       Successor     // who is to go on with it; nil if nobody
+	handoverOffered bool          // it has been asked
+	migrating       bool          // a MOVE is wanted
+	clientClosing   bool          // the caller leg is about to be closed
+	pendingSince    time.Time     // when the oldest unanswered line of the caller went on
+	graceUsed       bool          // it was found missing, and is looked for once more
 }
 
 // New returns a transaction for a request that came on the caller leg.
-func New(r Request, o RequestEncoder, f Codec, w Observer, caller *bufconn.Conn) *Session {
-	t := &Session{Request: r, RequestEncoder: o, front: f, watch: w, caller: caller, final: make(chan answer, 1)}
-	t.ctx, t.cancel = context.WithCancel(context.Background())
-	return t
+func New(request Request, encoder RequestEncoder, codec Codec, observer Observer, client *bufconn.Conn) *Session {
+	s := &Session{Request: request, RequestEncoder: encoder, codec: codec, observer: observer, client: client, finalAnswer: make(chan answer, 1)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
 }
 
 // Asked is the request, for the deciding side.
-func (t *Session) PlacementRequest() *dispatch.Request { return &t.Request }
+func (s *Session) PlacementRequest() *dispatch.Request { return &s.Request }
 
 // Context ends when no branch is wanted any more: the caller has left, or the
 // final answer was given.
-func (t *Session) Context() context.Context { return t.ctx }
+func (s *Session) Context() context.Context { return s.ctx }
 
 // settle gives the final answer, unless there is one or the caller has left.
-func (t *Session) settle(a answer) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.settled {
+func (s *Session) settle(a answer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settled {
 		return false
 	}
-	t.settled = true
-	t.hop, t.server = a.hop, a.from
-	t.final <- a
-	t.cancel()
-	if a.hop != nil {
-		t.caller.InterruptRead() // its reader has lines to pass on from now
+	s.settled = true
+	s.upstream, s.server = a.upstream, a.server
+	s.finalAnswer <- a
+	s.cancel()
+	if a.upstream != nil {
+		s.client.InterruptRead() // its reader has lines to pass on from now
 	}
 	return true
 }
 
 // Refuse gives the busy answer.
-func (t *Session) Reject(pause time.Duration) bool {
-	return t.settle(answer{line: t.front.Busy(pause), busy: true})
+func (s *Session) Reject(pause time.Duration) bool {
+	return s.settle(answer{line: s.codec.Busy(pause), rejected: true})
 }
 
 // Fail gives the answer that promises nothing.
-func (t *Session) Fail() bool { return t.settle(answer{line: t.front.Failed()}) }
+func (s *Session) Fail() bool { return s.settle(answer{line: s.codec.Failed()}) }
 
 // GiveUp answers a caller for whom nobody can find a next hop in the time that is left, as
 // when the node ends, with what promises nothing; the deciding side forgets it.
-func (t *Session) GiveUp() {
-	if t.Fail() {
-		t.watch.ClientGone(t)
+func (s *Session) GiveUp() {
+	if s.Fail() {
+		s.observer.ClientGone(s)
 	}
 }
 
 // Up hands over a server's UP line and its leg, which now belongs to the
 // exchange. It is false if the transaction is over; the leg then stays with
 // the branch.
-func (t *Session) Establish(line, server string, hop *bufconn.Conn) bool {
-	return t.settle(answer{line: line, from: server, hop: hop})
+func (s *Session) Establish(line, server string, upstream *bufconn.Conn) bool {
+	return s.settle(answer{line: line, server: server, upstream: upstream})
 }
 
 // Move asks the caller to come again, also where it was to be handed over and has not
 // been offered yet. Before UP it does nothing.
-func (t *Session) Migrate() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.hop != nil && !t.offered {
-		t.moving = true
-		t.hop.InterruptRead()
+func (s *Session) Migrate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstream != nil && !s.handoverOffered {
+		s.migrating = true
+		s.upstream.InterruptRead()
 	}
 }
 
 // leave is called when the caller's leg has ended.
-func (t *Session) leave() {
-	t.mu.Lock()
-	first := !t.settled
-	t.settled, t.gone = true, true
-	if t.hop != nil {
-		t.hop.InterruptRead()
+func (s *Session) clientLeft() {
+	s.mu.Lock()
+	first := !s.settled
+	s.settled, s.clientGone = true, true
+	if s.upstream != nil {
+		s.upstream.InterruptRead()
 	}
-	t.mu.Unlock()
+	s.mu.Unlock()
 	if first {
-		t.cancel()
-		close(t.final)
-		t.watch.ClientGone(t)
+		s.cancel()
+		close(s.finalAnswer)
+		s.observer.ClientGone(s)
 	}
 }
 
 // Standing tells whether the connection is up, and nobody has asked its caller to go.
-func (t *Session) IsEstablished() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.hop != nil && !t.moving && t.heir == nil
+func (s *Session) IsEstablished() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upstream != nil && !s.migrating && s.successor == nil
 }
--- a/internal/proxy/heir.go
+++ b/internal/proxy/heir.go
@@ -32,102 +32,102 @@
 // Yield hands a standing connection to another process, between two lines; if that does
 // not take it, its caller is asked to come again. It returns at once, and before UP it
 // does nothing. Who has a place in a stream is moved: that place is not passed on.
-func (t *Session) HandOver(to Successor) {
-	if t.Resumption != nil {
-		t.Migrate()
+func (s *Session) HandOver(successor Successor) {
+	if s.Resumption != nil {
+		s.Migrate()
 		return
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.hop != nil && !t.moving && !t.gone && !t.closing && t.heir == nil {
-		t.heir = to
-		t.caller.InterruptRead() // which wakes the relay when it has stopped
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstream != nil && !s.migrating && !s.clientGone && !s.clientClosing && s.successor == nil {
+		s.successor = successor
+		s.client.InterruptRead() // which wakes the relay when it has stopped
 	}
 }
 
-func (t *Session) yields() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.heir != nil
+func (s *Session) isHandingOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.successor != nil
 }
 
 // pass hands over what both relays have stopped for. If it is not taken, its caller is to
 // be moved.
-func (t *Session) pass(hop *bufconn.Conn) EndReason {
-	t.mu.Lock()
-	gone, moving, to := t.gone, t.moving, t.heir
-	t.offered = true
-	s := EstablishedSession{Request: t.Request, Server: t.server, FromClient: t.caller.Unread(), FromUpstream: hop.Unread(), PendingSince: t.pending}
-	t.mu.Unlock()
+func (s *Session) offerToSuccessor(upstream *bufconn.Conn) EndReason {
+	s.mu.Lock()
+	clientGone, migrating, successor := s.clientGone, s.migrating, s.successor
+	s.handoverOffered = true
+	state := EstablishedSession{Request: s.Request, Server: s.server, FromClient: s.client.Unread(), FromUpstream: upstream.Unread(), PendingSince: s.pendingSince}
+	s.mu.Unlock()
 	switch {
-	case gone:
-		return t.cut(hop, EndClientClosed)
-	case !moving && to.Take(s, t.caller.Conn, hop.Conn):
+	case clientGone:
+		return s.closeUpstream(upstream, EndClientClosed)
+	case !migrating && successor.Take(state, s.client.Conn, upstream.Conn):
 		return EndHandedOver
 	}
-	return t.cut(hop, EndMoved)
+	return s.closeUpstream(upstream, EndMigrated)
 }
 
 // Hold keeps a transaction that was inherited from reading and writing until its giver
 // has let go of it. One goroutine commits or aborts it, once.
 type CommitGate struct {
-	t       *Session // nil until it is inherited
-	over    chan struct{}
+	session *Session // nil until it is inherited
+	decided chan struct{}
 	aborted bool // set before over is closed
 }
 
 // NewHold returns a Hold for a Standing that is about to be inherited.
-func NewCommitGate() *CommitGate { return &CommitGate{over: make(chan struct{})} }
+func NewCommitGate() *CommitGate { return &CommitGate{decided: make(chan struct{})} }
 
 // Commit has the transaction go on: the connections are this process's alone.
-func (h *CommitGate) Commit() { close(h.over) }
+func (g *CommitGate) Commit() { close(g.decided) }
 
 // Abort ends the transaction with nothing read or written: the connections are their
 // giver's, and only the copies here are closed.
-func (h *CommitGate) Abort() {
-	if h.t != nil {
-		h.t.leave() // before its relay can see an end, which it would pass on
+func (g *CommitGate) Abort() {
+	if g.session != nil {
+		g.session.clientLeft() // before its relay can see an end, which it would pass on
 	}
-	h.aborted = true
-	close(h.over)
+	g.aborted = true
+	close(g.decided)
 }
 
 // errAborted ends the reads of what its giver has kept.
-var errAborted = errors.New("the giver has kept it")
+var errHandoverAborted = errors.New("the giver has kept it")
 
 // Read waits for the end of the hold. It returns no byte: io.EOF once what follows may be
 // read, else an error.
-func (h *CommitGate) Read([]byte) (int, error) {
-	<-h.over
-	if h.aborted {
-		return 0, errAborted
+func (g *CommitGate) Read([]byte) (int, error) {
+	<-g.decided
+	if g.aborted {
+		return 0, errHandoverAborted
 	}
 	return 0, io.EOF
 }
 
 // resume returns a Leg on conn from which another process had read some bytes that it did
 // not use. It is not read before the hold ends, if there is one.
-func (h *CommitGate) resume(conn net.Conn, read []byte) *bufconn.Conn {
-	l := bufconn.NewWithUnread(conn, read)
-	if h != nil {
-		l.R.Reset(io.MultiReader(h, bytes.NewReader(read), conn))
+func (g *CommitGate) newConn(conn net.Conn, unread []byte) *bufconn.Conn {
+	buffered := bufconn.NewWithUnread(conn, unread)
+	if g != nil {
+		buffered.R.Reset(io.MultiReader(g, bytes.NewReader(unread), conn))
 	}
-	return l
+	return buffered
 }
 
 // Inherit returns the transaction of what another process has handed over. Run serves it
 // to its end.
-func Inherit(s EstablishedSession, f Codec, w Observer, caller, hop net.Conn) *Session {
-	t := New(s.Request, nil, f, w, s.Gate.resume(caller, s.FromClient))
-	legToHop := s.Gate.resume(hop, s.FromUpstream)
-	t.settle(answer{from: s.Server, hop: legToHop})
-	if t.pending = s.PendingSince; !t.pending.IsZero() {
-		_ = legToHop.SetReadDeadline(t.pending.Add(silence))
+func Inherit(state EstablishedSession, codec Codec, observer Observer, client, upstream net.Conn) *Session {
+	session := New(state.Request, nil, codec, observer, state.Gate.newConn(client, state.FromClient))
+	upstreamConn := state.Gate.newConn(upstream, state.FromUpstream)
+	session.settle(answer{server: state.Server, upstream: upstreamConn})
+	if session.pendingSince = state.PendingSince; !session.pendingSince.IsZero() {
+		_ = upstreamConn.SetReadDeadline(session.pendingSince.Add(answerTimeout))
 	}
-	if s.Gate != nil {
-		s.Gate.t = t
+	if state.Gate != nil {
+		state.Gate.session = session
 	}
-	return t
+	return session
 }
 
 var _ dispatch.Placement = (*Session)(nil)
