--- a/internal/fleet/replog/cipher.go
+++ b/internal/fleet/replog/cipher.go
@@ -43,62 +43,62 @@
 }
 
 func newAEAD(key, salt []byte, info string) (cipher.AEAD, error) {
-	k, err := hkdf.Key(sha256.New, key, salt, info, 32)
+	derived, err := hkdf.Key(sha256.New, key, salt, info, 32)
 	if err != nil {
 		return nil, err
 	}
-	b, err := aes.NewCipher(k)
+	block, err := aes.NewCipher(derived)
 	if err != nil {
 		return nil, err
 	}
-	return cipher.NewGCM(b)
+	return cipher.NewGCM(block)
 }
 
 // greet agrees on keys; the one who dials has called. The caller bounds it by a deadline.
 // Neither side knows the other until a first frame has come from it.
-func handshake(c net.Conn, key []byte, called bool) (*sealedConn, error) {
-	mine := make([]byte, nonceSize)
-	_, _ = rand.Read(mine)
-	in := bufio.NewReader(c)
-	other := make([]byte, nonceSize)
-	if called {
-		if _, err := c.Write(append([]byte(magic), mine...)); err != nil {
+func handshake(conn net.Conn, key []byte, isDialer bool) (*sealedConn, error) {
+	ownNonce := make([]byte, nonceSize)
+	_, _ = rand.Read(ownNonce)
+	reader := bufio.NewReader(conn)
+	peerNonce := make([]byte, nonceSize)
+	if isDialer {
+		if _, err := conn.Write(append([]byte(magic), ownNonce...)); err != nil {
 			return nil, err
 		}
-		if _, err := io.ReadFull(in, other); err != nil {
+		if _, err := io.ReadFull(reader, peerNonce); err != nil {
 			return nil, err
 		}
 	} else {
-		head := make([]byte, len(magic))
-		if _, err := io.ReadFull(in, head); err != nil {
+		header := make([]byte, len(magic))
+		if _, err := io.ReadFull(reader, header); err != nil {
 			return nil, err
 		}
-		if string(head) != magic {
+		if string(header) != magic {
 			return nil, errNoHandshake
 		}
-		if _, err := io.ReadFull(in, other); err != nil {
+		if _, err := io.ReadFull(reader, peerNonce); err != nil {
 			return nil, err
 		}
-		if _, err := c.Write(mine); err != nil {
+		if _, err := conn.Write(ownNonce); err != nil {
 			return nil, err
 		}
 	}
-	salt := append(append([]byte{}, mine...), other...)
-	if !called {
-		salt = append(append([]byte{}, other...), mine...)
+	salt := append(append([]byte{}, ownNonce...), peerNonce...)
+	if !isDialer {
+		salt = append(append([]byte{}, peerNonce...), ownNonce...)
 	}
-	fromCaller, err := newAEAD(key, salt, "coralrelay-record-1 caller")
+	fromDialer, err := newAEAD(key, salt, "coralrelay-record-1 caller")
 	if err != nil {
 		return nil, err
 	}
-	toCaller, err := newAEAD(key, salt, "coralrelay-record-1 called")
+	toDialer, err := newAEAD(key, salt, "coralrelay-record-1 called")
 	if err != nil {
 		return nil, err
 	}
-	if called {
-		return &sealedConn{Conn: c, reader: in, opener: toCaller, sealer: fromCaller}, nil
+	if isDialer {
+		return &sealedConn{Conn: conn, reader: reader, opener: toDialer, sealer: fromDialer}, nil
 	}
-	return &sealedConn{Conn: c, reader: in, opener: fromCaller, sealer: toCaller}, nil
+	return &sealedConn{Conn: conn, reader: reader, opener: fromDialer, sealer: toDialer}, nil
 }
 
 func frameNonce(n uint64) []byte { return binary.BigEndian.AppendUint64(make([]byte, 4, 12), n) }
@@ -106,12 +106,12 @@
 // Write seals p in as many frames as it needs and writes them at once.
 func (c *sealedConn) Write(p []byte) (n int, err error) {
 	c.writeBuffer = c.writeBuffer[:0]
-	for left := p; len(left) > 0; {
-		part := left[:min(len(left), maxFrameSize)]
-		left = left[len(part):]
-		at := len(c.writeBuffer)
+	for rest := p; len(rest) > 0; {
+		part := rest[:min(len(rest), maxFrameSize)]
+		rest = rest[len(part):]
+		headerAt := len(c.writeBuffer)
 		c.writeBuffer = binary.BigEndian.AppendUint16(c.writeBuffer, uint16(len(part)+c.sealer.Overhead()))
-		c.writeBuffer = c.sealer.Seal(c.writeBuffer, frameNonce(c.framesSealed), part, c.writeBuffer[at:at+2])
+		c.writeBuffer = c.sealer.Seal(c.writeBuffer, frameNonce(c.framesSealed), part, c.writeBuffer[headerAt:headerAt+2])
 		c.framesSealed++
 	}
 	if _, err := c.Conn.Write(c.writeBuffer); err != nil {
@@ -125,22 +125,22 @@
 
 func (c *sealedConn) Read(p []byte) (int, error) {
 	for len(c.unread) == 0 {
-		var head [2]byte
-		if _, err := io.ReadFull(c.reader, head[:]); err != nil {
+		var header [2]byte
+		if _, err := io.ReadFull(c.reader, header[:]); err != nil {
 			return 0, err
 		}
-		size := int(binary.BigEndian.Uint16(head[:]))
+		size := int(binary.BigEndian.Uint16(header[:]))
 		if size < c.opener.Overhead() || size > maxFrameSize+c.opener.Overhead() {
 			return 0, fmt.Errorf("%w: of %d bytes", errFrame, size)
 		}
 		if cap(c.readBuffer) < size {
 			c.readBuffer = make([]byte, size)
 		}
-		box := c.readBuffer[:size]
-		if _, err := io.ReadFull(c.reader, box); err != nil {
+		frame := c.readBuffer[:size]
+		if _, err := io.ReadFull(c.reader, frame); err != nil {
 			return 0, err
 		}
-		plain, err := c.opener.Open(box[:0], frameNonce(c.framesOpened), box, head[:])
+		plain, err := c.opener.Open(frame[:0], frameNonce(c.framesOpened), frame, header[:])
 		if err != nil {
 			_ = c.Close()
 			return 0, errFrame
--- a/internal/fleet/replog/disk.go
+++ b/internal/fleet/replog/disk.go
@@ -53,39 +53,39 @@
 }
 
 // openDisk opens a voter's store. One that can't be trusted is set aside, and why is told.
-func openVoterStore(o *Options, sever func()) (d *voterStore, why string, err error) {
-	path := filepath.Join(o.Dir, "votes.db")
+func openVoterStore(options *Options, cutConnections func()) (opened *voterStore, setAsideReason string, err error) {
+	path := filepath.Join(options.Dir, "votes.db")
 	for range 2 {
-		if err := o.InjectFault("open"); err != nil {
+		if err := options.InjectFault("open"); err != nil {
 			return nil, "", err
 		}
-		st, err := store.Open(path, votesSchema, store.Options{NoSync: o.Mutations.SkipDiskSync})
+		file, err := store.Open(path, votesSchema, store.Options{NoSync: options.Mutations.SkipDiskSync})
 		if err != nil {
 			return nil, "", err
 		}
-		if st.QuarantinePath != "" {
-			why = fmt.Sprintf("%v; it is now %s", st.QuarantineReason, st.QuarantinePath)
+		if file.QuarantinePath != "" {
+			setAsideReason = fmt.Sprintf("%v; it is now %s", file.QuarantineReason, file.QuarantinePath)
 		}
-		d = &voterStore{store: st, injectFault: o.InjectFault, cutConnections: sever, failed: make(chan struct{}), entries: map[uint64]*raft.Log{},
+		opened = &voterStore{store: file, injectFault: options.InjectFault, cutConnections: cutConnections, failed: make(chan struct{}), entries: map[uint64]*raft.Log{},
 			stable: map[string][]byte{}, bootstrapStores: map[string]string{}}
-		bad := d.load()
-		if bad == nil {
-			return d, why, nil
+		loadErr := opened.load()
+		if loadErr == nil {
+			return opened, setAsideReason, nil
 		}
-		_ = st.Close()
+		_ = file.Close()
 		aside, err := setAside(path, "torn")
 		if err != nil {
-			return nil, "", errors.Join(bad, err)
+			return nil, "", errors.Join(loadErr, err)
 		}
-		why = fmt.Sprintf("store %s: %v; it is now %s", path, bad, aside)
+		setAsideReason = fmt.Sprintf("store %s: %v; it is now %s", path, loadErr, aside)
 	}
-	return nil, why, fmt.Errorf("store %s: a fresh one is bad too", path)
+	return nil, setAsideReason, fmt.Errorf("store %s: a fresh one is bad too", path)
 }
 
 // setAside moves a store out of the way whose content is bad though its pages are sound.
-func setAside(path, word string) (string, error) {
+func setAside(path, label string) (string, error) {
 	for n := 1; ; n++ {
-		aside := fmt.Sprintf("%s.%s-%d", path, word, n)
+		aside := fmt.Sprintf("%s.%s-%d", path, label, n)
 		err := os.Link(path, aside)
 		if errors.Is(err, os.ErrExist) {
 			continue
@@ -100,38 +100,38 @@
 // read takes all into memory and checks it.
 func (d *voterStore) load() error {
 	return d.store.View(func(tx *store.Tx) error {
-		err := tx.Bucket(logsBucket).ForEach(func(k, v []byte) error {
-			l, err := decodeLog(v)
+		err := tx.Bucket(logsBucket).ForEach(func(key, value []byte) error {
+			entry, err := decodeLog(value)
 			if err != nil {
-				return fmt.Errorf("log entry %x: %w", k, err)
+				return fmt.Errorf("log entry %x: %w", key, err)
 			}
-			if d.lastIndex != 0 && l.Index != d.lastIndex+1 || len(k) != 8 || binary.BigEndian.Uint64(k) != l.Index {
-				return fmt.Errorf("log entry %x: calls itself %d, after %d", k, l.Index, d.lastIndex)
+			if d.lastIndex != 0 && entry.Index != d.lastIndex+1 || len(key) != 8 || binary.BigEndian.Uint64(key) != entry.Index {
+				return fmt.Errorf("log entry %x: calls itself %d, after %d", key, entry.Index, d.lastIndex)
 			}
 			if d.firstIndex == 0 {
-				d.firstIndex = l.Index
+				d.firstIndex = entry.Index
 			}
-			d.entries[l.Index], d.lastIndex = l, l.Index
+			d.entries[entry.Index], d.lastIndex = entry, entry.Index
 			return nil
 		})
 		if err != nil {
 			return err
 		}
-		if v := tx.Bucket(snapshotBucket).Get(snapshotKey); v != nil {
-			if d.snapshot, err = decodeSnapshot(v); err != nil {
+		if value := tx.Bucket(snapshotBucket).Get(snapshotKey); value != nil {
+			if d.snapshot, err = decodeSnapshot(value); err != nil {
 				return err
 			}
 		}
 		if covered := d.snapshot.index(); d.firstIndex > covered+1 {
 			return fmt.Errorf("the log begins at %d, and the snapshot ends at %d", d.firstIndex, covered)
 		}
-		if v := tx.Bucket(bootstrapBucket).Get(bootstrapStoresKey); v != nil {
-			if err := json.Unmarshal(v, &d.bootstrapStores); err != nil {
+		if value := tx.Bucket(bootstrapBucket).Get(bootstrapStoresKey); value != nil {
+			if err := json.Unmarshal(value, &d.bootstrapStores); err != nil {
 				return fmt.Errorf("founders: %w", err)
 			}
 		}
-		return tx.Bucket(stableBucket).ForEach(func(k, v []byte) error {
-			d.stable[string(k)] = append([]byte{}, v...)
+		return tx.Bucket(stableBucket).ForEach(func(key, value []byte) error {
+			d.stable[string(key)] = append([]byte{}, value...)
 			return nil
 		})
 	})
@@ -145,7 +145,7 @@
 }
 
 // update writes one transaction and then shows it in memory.
-func (d *voterStore) update(op string, f func(*store.Tx) error, shown func()) error {
+func (d *voterStore) update(op string, write func(*store.Tx) error, applyInMemory func()) error {
 	d.writeMu.Lock()
 	defer d.writeMu.Unlock()
 	if d.writeErr != nil {
@@ -153,7 +153,7 @@
 	}
 	err := d.injectFault(op)
 	if err == nil {
-		err = d.store.Update(f)
+		err = d.store.Update(write)
 	}
 	if err != nil {
 		d.writeErr = fmt.Errorf("%s: %w", op, err)
@@ -163,23 +163,23 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	shown()
+	applyInMemory()
 	return nil
 }
 
 // found begins a log with its first configuration, in one transaction.
-func (d *voterStore) bootstrap(c raft.Configuration, founders map[string]string) error {
-	first := &raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(c)}
-	names, err := json.Marshal(founders)
+func (d *voterStore) bootstrap(configuration raft.Configuration, stores map[string]string) error {
+	first := &raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(configuration)}
+	encodedStores, err := json.Marshal(stores)
 	if err != nil {
 		return err
 	}
 	term := binary.BigEndian.AppendUint64(nil, 1)
 	return d.update("found", func(tx *store.Tx) error {
-		return errors.Join(tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, names), tx.Bucket(stableBucket).Put(termKey, term),
+		return errors.Join(tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, encodedStores), tx.Bucket(stableBucket).Put(termKey, term),
 			tx.Bucket(logsBucket).Put(binary.BigEndian.AppendUint64(nil, 1), encodeLog(first)))
 	}, func() {
-		d.bootstrapStores, d.stable[string(termKey)] = founders, term
+		d.bootstrapStores, d.stable[string(termKey)] = stores, term
 		d.entries[1], d.firstIndex, d.lastIndex = first, 1, 1
 	})
 }
--- a/internal/fleet/replog/enter.go
+++ b/internal/fleet/replog/enter.go
@@ -36,31 +36,31 @@
 // enter returns when this voter's store may vote. A store that has promised something may.
 // A blank one may be one of the first, or in the place of one that was lost, whose promises
 // nobody knows any more: then the leader takes this member back as one without a vote.
-func (r *Replica) join(ctx context.Context, d *voterStore) error {
-	if !d.isBlank() {
+func (r *Replica) join(ctx context.Context, store *voterStore) error {
+	if !store.isBlank() {
 		return nil
 	}
-	id := d.store.ID.String()
-	said := ""
+	id := store.store.ID.String()
+	logged := ""
 	for {
-		founders, lost, waits := r.surveyVoters(ctx, id)
+		stores, lost, waitReason := r.surveyVoters(ctx, id)
 		switch {
-		case founders != nil:
-			return d.bootstrap(r.initialConfiguration(), founders)
+		case stores != nil:
+			return store.bootstrap(r.initialConfiguration(), stores)
 		case lost:
-			waits = r.requestReadmission(ctx)
-			if waits == "" {
+			waitReason = r.requestReadmission(ctx)
+			if waitReason == "" {
 				slog.Info("record: taken back, without a vote until the log is here")
 				return nil
 			}
 		}
-		if waits != said {
-			said = waits
-			slog.Info("record: no vote yet", "why", waits)
+		if waitReason != logged {
+			logged = waitReason
+			slog.Info("record: no vote yet", "why", waitReason)
 		}
 		select {
 		case <-time.After(r.options.heartbeatInterval()):
-		case <-d.failed:
+		case <-store.failed:
 			return errors.New("disk")
 		case <-ctx.Done():
 			return ctx.Err()
@@ -70,129 +70,129 @@
 
 // look asks all voters. It returns the founding stores if this one is among them, or if all
 // are there and blank; lost tells that the fleet was founded with another in its place.
-func (r *Replica) surveyVoters(ctx context.Context, id string) (founders map[string]string, lost bool, waits string) {
-	all := map[string]string{r.self.Name: id}
+func (r *Replica) surveyVoters(ctx context.Context, ownStore string) (stores map[string]string, lost bool, waitReason string) {
+	blankStores := map[string]string{r.self.Name: ownStore}
 	if r.View().State.Index > 0 {
-		waits = "this member knows of entries, so the fleet was founded before"
+		waitReason = "this member knows of entries, so the fleet was founded before"
 	}
 	for _, v := range r.options.Voters {
 		if v.Name == r.self.Name {
 			continue
 		}
-		m, err := r.queryVoter(ctx, v.Addr, voterRequest{Action: actionDescribe, Name: r.self.Name})
+		info, err := r.queryVoter(ctx, v.Addr, voterRequest{Action: actionDescribe, Name: r.self.Name})
 		switch {
-		case err != nil || m.StoreID == "":
-			waits = "voter " + v.Name + " can't be asked, or its disk not used"
-		case m.Bootstrapped && m.BootstrapStores[r.self.Name] == id:
-			return m.BootstrapStores, false, ""
-		case m.Bootstrapped:
+		case err != nil || info.StoreID == "":
+			waitReason = "voter " + v.Name + " can't be asked, or its disk not used"
+		case info.Bootstrapped && info.BootstrapStores[r.self.Name] == ownStore:
+			return info.BootstrapStores, false, ""
+		case info.Bootstrapped:
 			lost = true
-		case m.Index > 0:
-			waits = "voter " + v.Name + " knows of entries, so the fleet was founded before"
+		case info.Index > 0:
+			waitReason = "voter " + v.Name + " knows of entries, so the fleet was founded before"
 		default:
-			all[v.Name] = m.StoreID
+			blankStores[v.Name] = info.StoreID
 		}
 	}
-	if lost || waits != "" {
-		return nil, lost, waits
+	if lost || waitReason != "" {
+		return nil, lost, waitReason
 	}
-	return all, false, ""
+	return blankStores, false, ""
 }
 
-func (r *Replica) initialConfiguration() (c raft.Configuration) {
+func (r *Replica) initialConfiguration() (configuration raft.Configuration) {
 	for _, v := range r.options.Voters {
-		c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(v.Name), Address: raft.ServerAddress(v.Addr)})
+		configuration.Servers = append(configuration.Servers, raft.Server{ID: raft.ServerID(v.Name), Address: raft.ServerAddress(v.Addr)})
 	}
-	return c
+	return configuration
 }
 
 // back asks the voters until one of them, the leader, has taken this member back; else why not.
-func (r *Replica) requestReadmission(ctx context.Context) (waits string) {
-	waits = "its store was lost, and no leader takes it back"
+func (r *Replica) requestReadmission(ctx context.Context) (waitReason string) {
+	waitReason = "its store was lost, and no leader takes it back"
 	for _, v := range r.options.Voters {
 		if v.Name == r.self.Name {
 			continue
 		}
-		if m, err := r.queryVoter(ctx, v.Addr, voterRequest{Action: actionReadmit, Name: r.self.Name}); err == nil && m.Error == "" {
+		if info, err := r.queryVoter(ctx, v.Addr, voterRequest{Action: actionReadmit, Name: r.self.Name}); err == nil && info.Error == "" {
 			return ""
 		}
 	}
-	return waits
+	return waitReason
 }
 
 // askVote asks for this member's vote, if it has none: it gets it once it holds all that the
 // leader had when it was taken back.
-func (r *Replica) requestPromotion(ctx context.Context, ra *raft.Raft) {
-	if leader, _ := ra.LeaderWithID(); leader != "" && !hasVote(ra, r.self.Name) {
-		_, _ = r.queryVoter(ctx, string(leader), voterRequest{Action: actionPromote, Name: r.self.Name, AppliedIndex: ra.AppliedIndex()})
+func (r *Replica) requestPromotion(ctx context.Context, raftNode *raft.Raft) {
+	if leader, _ := raftNode.LeaderWithID(); leader != "" && !hasVote(raftNode, r.self.Name) {
+		_, _ = r.queryVoter(ctx, string(leader), voterRequest{Action: actionPromote, Name: r.self.Name, AppliedIndex: raftNode.AppliedIndex()})
 	}
 }
 
-func hasVote(ra *raft.Raft, name string) bool {
-	f := ra.GetConfiguration()
-	if f.Error() != nil {
+func hasVote(raftNode *raft.Raft, name string) bool {
+	future := raftNode.GetConfiguration()
+	if future.Error() != nil {
 		return false
 	}
-	for _, s := range f.Configuration().Servers {
-		if s.ID == raft.ServerID(name) {
-			return s.Suffrage == raft.Voter
+	for _, server := range future.Configuration().Servers {
+		if server.ID == raft.ServerID(name) {
+			return server.Suffrage == raft.Voter
 		}
 	}
 	return false
 }
 
-func (r *Replica) queryVoter(ctx context.Context, addr string, q voterRequest) (m voterInfo, err error) {
-	c, err := r.transport.dial(ctx, addr, purposeVoterRequest, r.options.peerTimeout())
+func (r *Replica) queryVoter(ctx context.Context, addr string, request voterRequest) (info voterInfo, err error) {
+	conn, err := r.transport.dial(ctx, addr, purposeVoterRequest, r.options.peerTimeout())
 	if err != nil {
-		return m, err
+		return info, err
 	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(requestTimeout))
-	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
-	if err := writeJSON(c, msgVoterRequest, q); err != nil {
-		return m, err
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(requestTimeout))
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	if err := writeJSON(conn, msgVoterRequest, request); err != nil {
+		return info, err
 	}
-	return m, readJSON(c, msgVoterInfo, &m)
+	return info, readJSON(conn, msgVoterInfo, &info)
 }
 
 // answerAsk serves another member's question.
-func (r *Replica) serveVoterRequest(c *sealedConn) {
-	var q voterRequest
-	if readJSON(c, msgVoterRequest, &q) != nil {
+func (r *Replica) serveVoterRequest(conn *sealedConn) {
+	var request voterRequest
+	if readJSON(conn, msgVoterRequest, &request) != nil {
 		return
 	}
-	m := voterInfo{}
+	info := voterInfo{}
 	if own := r.voterInfo.Load(); own != nil {
-		m = *own
+		info = *own
 	}
-	m.Index = r.View().State.Index
-	if q.Action != actionDescribe {
-		m.Error = errorText(r.changeMembership(q))
+	info.Index = r.View().State.Index
+	if request.Action != actionDescribe {
+		info.Error = errorText(r.changeMembership(request))
 	}
-	_ = writeJSON(c, msgVoterInfo, m)
+	_ = writeJSON(conn, msgVoterInfo, info)
 }
 
 // seat changes raft's members for a voter that has lost its store. Its vote is taken from it
 // before it runs raft again, so that no majority counts what it has forgotten.
-func (r *Replica) changeMembership(q voterRequest) error {
-	ra := r.raft.Load()
-	if ra == nil || !r.IsLeader() {
+func (r *Replica) changeMembership(request voterRequest) error {
+	raftNode := r.raft.Load()
+	if raftNode == nil || !r.IsLeader() {
 		return errNotLeader
 	}
-	v, ok := r.options.findVoter(q.Name)
+	voter, ok := r.options.findVoter(request.Name)
 	if !ok {
-		return fmt.Errorf("fleet.record.voters: %.64q is not among them", q.Name)
+		return fmt.Errorf("fleet.record.voters: %.64q is not among them", request.Name)
 	}
-	id, at := raft.ServerID(v.Name), raft.ServerAddress(v.Addr)
-	if q.Action == actionPromote {
-		f := ra.GetConfiguration() // the change that took it back came after all that it can have promised
-		if err := f.Error(); err != nil || q.AppliedIndex < f.Index() {
+	id, address := raft.ServerID(voter.Name), raft.ServerAddress(voter.Addr)
+	if request.Action == actionPromote {
+		future := raftNode.GetConfiguration() // the change that took it back came after all that it can have promised
+		if err := future.Error(); err != nil || request.AppliedIndex < future.Index() {
 			return errors.Join(err, errors.New("it has not caught up"))
 		}
-		return ra.AddVoter(id, at, 0, requestTimeout).Error()
+		return raftNode.AddVoter(id, address, 0, requestTimeout).Error()
 	}
-	if err := ra.RemoveServer(id, 0, requestTimeout).Error(); err != nil {
+	if err := raftNode.RemoveServer(id, 0, requestTimeout).Error(); err != nil {
 		return err
 	}
-	return ra.AddNonvoter(id, at, 0, requestTimeout).Error()
+	return raftNode.AddNonvoter(id, address, 0, requestTimeout).Error()
 }
--- a/internal/fleet/replog/fsm.go
+++ b/internal/fleet/replog/fsm.go
@@ -17,51 +17,51 @@
 }
 
 // Apply takes one entry and returns its entry.Outcome.
-func (m *stateMachine) Apply(l *raft.Log) any {
-	next, out := m.state.Apply(l.Data)
+func (m *stateMachine) Apply(entry *raft.Log) any {
+	next, outcome := m.state.Apply(entry.Data)
 	if known, ok := m.replica.publisher.hashAt(next.Index); ok && known != next.Hash {
 		slog.Error("record: the log has another chain than what was heard before", "index", next.Index)
 	}
 	m.state = next
-	m.replica.publisher.publishState(next, l.Data)
-	return out
+	m.replica.publisher.publishState(next, entry.Data)
+	return outcome
 }
 
 // Snapshot returns the state as it is.
 func (m *stateMachine) Snapshot() (raft.FSMSnapshot, error) { return stateSnapshot{m.state}, nil }
 
 // Restore takes a state in place of all that was applied.
-func (m *stateMachine) Restore(from io.ReadCloser) error {
-	defer func() { _ = from.Close() }()
-	b, err := io.ReadAll(io.LimitReader(from, maxStateSize+1))
+func (m *stateMachine) Restore(source io.ReadCloser) error {
+	defer func() { _ = source.Close() }()
+	encoded, err := io.ReadAll(io.LimitReader(source, maxStateSize+1))
 	if err != nil {
 		return err
 	}
-	s, err := decodeState(b)
+	state, err := decodeState(encoded)
 	if err != nil {
 		return err
 	}
-	if err := s.AttachGenesis(m.replica.options.Genesis); err != nil {
+	if err := state.AttachGenesis(m.replica.options.Genesis); err != nil {
 		return err
 	}
-	m.state = s
-	m.replica.publisher.publishState(s, nil)
+	m.state = state
+	m.replica.publisher.publishState(state, nil)
 	return nil
 }
 
 type stateSnapshot struct{ state *logentry.State }
 
 // Persist writes the state to raft's store.
-func (s stateSnapshot) Persist(to raft.SnapshotSink) error {
-	b, err := encodeState(s.state)
+func (s stateSnapshot) Persist(sink raft.SnapshotSink) error {
+	encoded, err := encodeState(s.state)
 	if err == nil {
-		_, err = to.Write(b)
+		_, err = sink.Write(encoded)
 	}
 	if err != nil {
-		_ = to.Cancel()
+		_ = sink.Cancel()
 		return err
 	}
-	return to.Close()
+	return sink.Close()
 }
 
 // Release has nothing to let go: states are never changed in place.
--- a/internal/fleet/replog/hub.go
+++ b/internal/fleet/replog/hub.go
@@ -43,41 +43,41 @@
 	anythingChanged chan struct{} // closed when it changes at all
 }
 
-func newPublisher(s *logentry.State) *publisher {
-	h := &publisher{viewChanged: make(chan struct{}), anythingChanged: make(chan struct{})}
-	h.view.Store(&View{State: s, Role: "follower"})
-	return h
+func newPublisher(initial *logentry.State) *publisher {
+	created := &publisher{viewChanged: make(chan struct{}), anythingChanged: make(chan struct{})}
+	created.view.Store(&View{State: initial, Role: "follower"})
+	return created
 }
 
 // edit publishes a changed copy of the view. The lock is held.
-func (h *publisher) publish(f func(*View), loud bool) {
-	v := *h.view.Load()
-	f(&v)
-	h.view.Store(&v)
+func (h *publisher) publish(edit func(*View), notify bool) {
+	view := *h.view.Load()
+	edit(&view)
+	h.view.Store(&view)
 	close(h.anythingChanged)
 	h.anythingChanged = make(chan struct{})
-	if loud {
+	if notify {
 		close(h.viewChanged)
 		h.viewChanged = make(chan struct{})
 	}
 }
 
 // change edits what is said beside the state.
-func (h *publisher) updateView(f func(*View)) {
+func (h *publisher) updateView(edit func(*View)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.publish(f, true)
+	h.publish(edit, true)
 }
 
 // put publishes the state after an entry, unless a later one is known.
 func (h *publisher) publishState(next *logentry.State, raw []byte) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at := h.view.Load().State.Index
-	if next.Index <= at {
+	current := h.view.Load().State.Index
+	if next.Index <= current {
 		return
 	}
-	if next.Index != at+1 {
+	if next.Index != current+1 {
 		h.entries, h.entryBytes = nil, 0
 	}
 	if raw != nil {
@@ -85,11 +85,11 @@
 	} else {
 		h.entries, h.entryBytes = nil, 0
 	}
-	drop := 0
-	for ; len(h.entries)-drop > maxKeptEntries || h.entryBytes > maxKeptBytes; drop++ {
-		h.entryBytes -= len(h.entries[drop].raw)
+	dropped := 0
+	for ; len(h.entries)-dropped > maxKeptEntries || h.entryBytes > maxKeptBytes; dropped++ {
+		h.entryBytes -= len(h.entries[dropped].raw)
 	}
-	h.entries = h.entries[drop:]
+	h.entries = h.entries[dropped:]
 	h.publish(func(v *View) { v.State = next }, true)
 }
 
@@ -110,15 +110,15 @@
 }
 
 // since returns the entries after an index; not ok if some are not kept any more.
-func (h *publisher) entriesAfter(index uint64) (lines []committedEntry, ok bool) {
+func (h *publisher) entriesAfter(index uint64) (entries []committedEntry, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	at := h.view.Load().State.Index
-	if index >= at {
+	current := h.view.Load().State.Index
+	if index >= current {
 		return nil, true
 	}
-	if n := at - index; n <= uint64(len(h.entries)) {
-		return h.entries[uint64(len(h.entries))-n:], true
+	if missing := current - index; missing <= uint64(len(h.entries)) {
+		return h.entries[uint64(len(h.entries))-missing:], true
 	}
 	return nil, false
 }
@@ -130,13 +130,13 @@
 	if s := h.view.Load().State; s.Index == index {
 		return s.Hash, true
 	}
-	if n := len(h.entries); n > 0 && index >= h.entries[0].index && index <= h.entries[n-1].index {
+	if kept := len(h.entries); kept > 0 && index >= h.entries[0].index && index <= h.entries[kept-1].index {
 		return h.entries[index-h.entries[0].index].hash, true
 	}
 	return logentry.Hash{}, false
 }
 
-func (h *publisher) changes() (woken, moved <-chan struct{}) {
+func (h *publisher) changes() (viewChanged, anythingChanged <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.viewChanged, h.anythingChanged
--- a/internal/fleet/replog/listen.go
+++ b/internal/fleet/replog/listen.go
@@ -29,34 +29,34 @@
 	wg          sync.WaitGroup
 }
 
-func newTransport(o *Options) (*transport, error) {
-	l, err := net.Listen("tcp", o.Bind)
+func newTransport(options *Options) (*transport, error) {
+	listener, err := net.Listen("tcp", options.Bind)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record.bind: %w", err)
 	}
-	return &transport{Listener: l, key: o.Key, localIP: l.Addr().(*net.TCPAddr).IP, conns: map[net.Conn]struct{}{}}, nil
+	return &transport{Listener: listener, key: options.Key, localIP: listener.Addr().(*net.TCPAddr).IP, conns: map[net.Conn]struct{}{}}, nil
 }
 
 // serve hands each connection of a member to take, until ctx ends; then all are closed.
-func (p *transport) serve(ctx context.Context, take func(kind byte, c *sealedConn)) error {
+func (p *transport) serve(ctx context.Context, handle func(kind byte, conn *sealedConn)) error {
 	stop := context.AfterFunc(ctx, func() {
 		_ = p.Close()
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for c := range p.conns {
-			_ = c.Close()
+		for conn := range p.conns {
+			_ = conn.Close()
 		}
-		for _, c := range p.handshaking {
-			_ = c.Close()
+		for _, conn := range p.handshaking {
+			_ = conn.Close()
 		}
 	})
 	defer stop()
 	defer p.wg.Wait()
 	for {
-		c, err := p.Accept()
+		conn, err := p.Accept()
 		if ctx.Err() != nil {
 			if err == nil {
-				_ = c.Close()
+				_ = conn.Close()
 			}
 			return nil
 		}
@@ -72,25 +72,25 @@
 			_ = p.handshaking[0].Close()
 			p.handshaking = p.handshaking[1:]
 		}
-		p.handshaking = append(p.handshaking, c)
+		p.handshaking = append(p.handshaking, conn)
 		p.mu.Unlock()
-		p.wg.Go(func() { p.serveConn(ctx, c, take) })
+		p.wg.Go(func() { p.serveConn(ctx, conn, handle) })
 	}
 }
 
 // greet lets in who holds the key. Until the first frame is opened a caller costs one
 // derivation, and is cut off after a time.
-func (p *transport) serveConn(ctx context.Context, c net.Conn, take func(kind byte, c *sealedConn)) {
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(handshakeTimeout))
-	sealed, err := handshake(c, p.key, false)
-	var kind [1]byte
+func (p *transport) serveConn(ctx context.Context, conn net.Conn, handle func(purpose byte, conn *sealedConn)) {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
+	sealed, err := handshake(conn, p.key, false)
+	var purpose [1]byte
 	if err == nil {
-		_, err = sealed.Read(kind[:])
+		_, err = sealed.Read(purpose[:])
 	}
 	p.mu.Lock()
 	for i := range p.handshaking {
-		if p.handshaking[i] == c {
+		if p.handshaking[i] == conn {
 			p.handshaking = append(p.handshaking[:i:i], p.handshaking[i+1:]...)
 			break
 		}
@@ -99,37 +99,37 @@
 		p.mu.Unlock()
 		return
 	}
-	p.conns[c] = struct{}{}
+	p.conns[conn] = struct{}{}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.conns, c)
+		delete(p.conns, conn)
 	}()
-	_ = c.SetDeadline(time.Time{})
-	take(kind[0], sealed)
+	_ = conn.SetDeadline(time.Time{})
+	handle(purpose[0], sealed)
 }
 
 // dial calls a member.
-func (p *transport) dial(ctx context.Context, addr string, kind byte, timeout time.Duration) (*sealedConn, error) {
-	d := net.Dialer{Timeout: timeout}
+func (p *transport) dial(ctx context.Context, addr string, purpose byte, timeout time.Duration) (*sealedConn, error) {
+	dialer := net.Dialer{Timeout: timeout}
 	if !p.localIP.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: p.localIP}
+		dialer.LocalAddr = &net.TCPAddr{IP: p.localIP}
 	}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	_ = c.SetDeadline(time.Now().Add(timeout))
-	sealed, err := handshake(c, p.key, true)
+	_ = conn.SetDeadline(time.Now().Add(timeout))
+	sealed, err := handshake(conn, p.key, true)
 	if err == nil {
-		_, err = sealed.Write([]byte{kind})
+		_, err = sealed.Write([]byte{purpose})
 	}
 	if err != nil {
-		_ = c.Close()
+		_ = conn.Close()
 		return nil, fmt.Errorf("%s: %w", addr, err)
 	}
-	_ = c.SetDeadline(time.Time{})
+	_ = conn.SetDeadline(time.Time{})
 	return sealed, nil
 }
 
@@ -168,58 +168,58 @@
 	return c.Conn.Close()
 }
 
-func newRaftLayer(ctx context.Context, p *transport, at string) *raftLayer {
-	l := &raftLayer{transport: p, addr: raftAddr(at), accepted: make(chan net.Conn), conns: map[*raftConn]struct{}{}}
-	l.ctx, l.cancel = context.WithCancel(ctx)
-	return l
+func newRaftLayer(ctx context.Context, transport *transport, localAddr string) *raftLayer {
+	layer := &raftLayer{transport: transport, addr: raftAddr(localAddr), accepted: make(chan net.Conn), conns: map[*raftConn]struct{}{}}
+	layer.ctx, layer.cancel = context.WithCancel(ctx)
+	return layer
 }
 
 // track keeps a connection to be cut, unless all are cut already.
-func (l *raftLayer) track(c net.Conn) (*raftConn, error) {
-	rc := &raftConn{Conn: c, layer: l, closed: make(chan struct{})}
+func (l *raftLayer) track(conn net.Conn) (*raftConn, error) {
+	tracked := &raftConn{Conn: conn, layer: l, closed: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ctx.Err() != nil {
-		_ = c.Close()
+		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
-	l.conns[rc] = struct{}{}
-	return rc, nil
+	l.conns[tracked] = struct{}{}
+	return tracked, nil
 }
 
 // give hands raft a connection that was accepted, and returns when it is done with.
-func (l *raftLayer) deliver(c *sealedConn) {
-	rc, err := l.track(c)
+func (l *raftLayer) deliver(conn *sealedConn) {
+	tracked, err := l.track(conn)
 	if err != nil {
 		return
 	}
-	defer func() { _ = rc.Close() }()
+	defer func() { _ = tracked.Close() }()
 	select {
-	case l.accepted <- rc:
+	case l.accepted <- tracked:
 	case <-l.ctx.Done():
 		return
 	}
 	select {
-	case <-rc.closed:
+	case <-tracked.closed:
 	case <-l.ctx.Done():
 	}
 }
 
 func (l *raftLayer) Accept() (net.Conn, error) {
 	select {
-	case c := <-l.accepted:
-		return c, nil
+	case conn := <-l.accepted:
+		return conn, nil
 	case <-l.ctx.Done():
 		return nil, net.ErrClosed
 	}
 }
 
 func (l *raftLayer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	c, err := l.transport.dial(l.ctx, string(to), purposeRaft, timeout)
+	conn, err := l.transport.dial(l.ctx, string(to), purposeRaft, timeout)
 	if err != nil {
 		return nil, err
 	}
-	return l.track(c)
+	return l.track(conn)
 }
 
 func (l *raftLayer) Addr() net.Addr { return l.addr }
@@ -231,8 +231,8 @@
 	conns := l.conns
 	l.conns = map[*raftConn]struct{}{}
 	l.mu.Unlock()
-	for c := range conns {
-		_ = c.Close()
+	for conn := range conns {
+		_ = conn.Close()
 	}
 	return nil
 }
--- a/internal/fleet/replog/message.go
+++ b/internal/fleet/replog/message.go
@@ -69,51 +69,51 @@
 	Leader         string           `json:"leader,omitempty"` // of who does not lead: who does, if known
 }
 
-func writeMessage(w io.Writer, kind byte, parts ...[]byte) error {
+func writeMessage(writer io.Writer, kind byte, parts ...[]byte) error {
 	size := 0
-	for _, p := range parts {
-		size += len(p)
+	for _, part := range parts {
+		size += len(part)
 	}
-	b := make([]byte, 0, 5+size)
-	b = binary.BigEndian.AppendUint32(append(b, kind), uint32(size))
-	for _, p := range parts {
-		b = append(b, p...)
+	frame := make([]byte, 0, 5+size)
+	frame = binary.BigEndian.AppendUint32(append(frame, kind), uint32(size))
+	for _, part := range parts {
+		frame = append(frame, part...)
 	}
-	_, err := w.Write(b)
+	_, err := writer.Write(frame)
 	return err
 }
 
-func writeJSON(w io.Writer, kind byte, v any) error {
-	b, err := json.Marshal(v)
+func writeJSON(writer io.Writer, kind byte, value any) error {
+	encoded, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
-	return writeMessage(w, kind, b)
+	return writeMessage(writer, kind, encoded)
 }
 
 // hear reads one message of at most so many bytes.
-func readMessage(r io.Reader, most int) (kind byte, text []byte, err error) {
-	var head [5]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+func readMessage(reader io.Reader, maxSize int) (kind byte, payload []byte, err error) {
+	var header [5]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
 		return 0, nil, err
 	}
-	size := binary.BigEndian.Uint32(head[1:])
-	if uint64(size) > uint64(most) {
-		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are taken", head[0], size, most)
+	size := binary.BigEndian.Uint32(header[1:])
+	if uint64(size) > uint64(maxSize) {
+		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are taken", header[0], size, maxSize)
 	}
-	text = make([]byte, size)
-	_, err = io.ReadFull(r, text)
-	return head[0], text, err
+	payload = make([]byte, size)
+	_, err = io.ReadFull(reader, payload)
+	return header[0], payload, err
 }
 
 // hearJSON reads a message of that kind.
-func readJSON(r io.Reader, want byte, v any) error {
-	kind, text, err := readMessage(r, maxControlSize)
+func readJSON(reader io.Reader, want byte, value any) error {
+	kind, payload, err := readMessage(reader, maxControlSize)
 	if err != nil {
 		return err
 	}
 	if kind != want {
 		return fmt.Errorf("message %q, want %q", kind, want)
 	}
-	return json.Unmarshal(text, v)
+	return json.Unmarshal(payload, value)
 }
--- a/internal/fleet/replog/number.go
+++ b/internal/fleet/replog/number.go
@@ -31,22 +31,22 @@
 
 // word tells when a beat's word held: the zero time where nothing was ever heard. A number
 // that is not read for so long that clocks may drift apart is an error.
-func (s *followerClock) confirmedAt(b *heartbeat, most time.Duration) (at time.Time, err error) {
+func (s *followerClock) confirmedAt(beat *heartbeat, maxAge time.Duration) (at time.Time, err error) {
 	switch {
-	case b.Sequence == 0:
+	case beat.Sequence == 0:
 		return time.Time{}, nil
-	case b.Sequence == s.lastSequence:
+	case beat.Sequence == s.lastSequence:
 		at = s.sentAt
-	case b.Sequence == s.lastSequence-1:
+	case beat.Sequence == s.lastSequence-1:
 		at = s.previousSentAt
 	default:
-		return time.Time{}, fmt.Errorf("%w: %d, the last is %d", errSequence, b.Sequence, s.lastSequence)
+		return time.Time{}, fmt.Errorf("%w: %d, the last is %d", errSequence, beat.Sequence, s.lastSequence)
 	}
 	now := time.Now()
-	if waits := now.Sub(at); waits > most {
-		return time.Time{}, fmt.Errorf("what is sent to it is not read: number %d is of %v ago", b.Sequence, waits)
+	if waiting := now.Sub(at); waiting > maxAge {
+		return time.Time{}, fmt.Errorf("what is sent to it is not read: number %d is of %v ago", beat.Sequence, waiting)
 	}
-	if at = at.Add(-time.Duration(b.AgeMicros) * time.Microsecond); at.After(now) {
+	if at = at.Add(-time.Duration(beat.AgeMicros) * time.Microsecond); at.After(now) {
 		at = now // it lies, or clocks drift
 	}
 	return at, nil
@@ -69,18 +69,18 @@
 }
 
 // read takes one number, which must follow on the last, and that must have been told.
-func (n *upstreamClock) readSequence(from io.Reader) error {
-	kind, text, err := readMessage(from, 8)
+func (n *upstreamClock) readSequence(reader io.Reader) error {
+	kind, payload, err := readMessage(reader, 8)
 	if err != nil {
 		return err
 	}
-	if kind != msgSequence || len(text) != 8 {
-		return fmt.Errorf("message %q of %d bytes, want a number", kind, len(text))
+	if kind != msgSequence || len(payload) != 8 {
+		return fmt.Errorf("message %q of %d bytes, want a number", kind, len(payload))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if number := binary.BigEndian.Uint64(text); number != n.lastSequence+1 || !n.acknowledged {
-		return fmt.Errorf("%w: %d, the last was %d", errSequence, number, n.lastSequence)
+	if sequence := binary.BigEndian.Uint64(payload); sequence != n.lastSequence+1 || !n.acknowledged {
+		return fmt.Errorf("%w: %d, the last was %d", errSequence, sequence, n.lastSequence)
 	}
 	n.lastSequence, n.receivedAt, n.acknowledged = n.lastSequence+1, time.Now(), false
 	return nil
--- a/internal/fleet/replog/options.go
+++ b/internal/fleet/replog/options.go
@@ -58,65 +58,65 @@
 )
 
 // check fills in what was left out and names the key that can't be worked with.
-func (o *Options) normalize() error {
-	if o.Lease == 0 {
-		o.Lease = defaultLease
+func (options *Options) normalize() error {
+	if options.Lease == 0 {
+		options.Lease = defaultLease
 	}
-	if o.RaftLog == nil {
-		o.RaftLog = io.Discard
+	if options.RaftLog == nil {
+		options.RaftLog = io.Discard
 	}
-	if o.Peers == nil {
-		o.Peers = func() []Peer { return nil }
+	if options.Peers == nil {
+		options.Peers = func() []Peer { return nil }
 	}
-	if o.InjectFault == nil {
-		o.InjectFault = func(string) error { return nil }
+	if options.InjectFault == nil {
+		options.InjectFault = func(string) error { return nil }
 	}
 	switch {
-	case o.Name == "" || len(o.Name) > maxNameLength:
-		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", o.Name, maxNameLength)
-	case o.Dir == "":
+	case options.Name == "" || len(options.Name) > maxNameLength:
+		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", options.Name, maxNameLength)
+	case options.Dir == "":
 		return errors.New("fleet.record.dir: empty, want a folder")
-	case len(o.Key) < minKeyLength:
-		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(o.Key), minKeyLength)
-	case o.Lease < minLease:
-		return fmt.Errorf("fleet.record.lease: %v, want %v at least", o.Lease, minLease)
+	case len(options.Key) < minKeyLength:
+		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(options.Key), minKeyLength)
+	case options.Lease < minLease:
+		return fmt.Errorf("fleet.record.lease: %v, want %v at least", options.Lease, minLease)
 	}
-	if _, err := netip.ParseAddrPort(o.Bind); err != nil {
+	if _, err := netip.ParseAddrPort(options.Bind); err != nil {
 		return fmt.Errorf("fleet.record.bind: %w", err)
 	}
-	return CheckVoters(o.Voters)
+	return CheckVoters(options.Voters)
 }
 
 // CheckVoters tells whether a set of voters can be worked with: 3 or 5, and where zones are
 // told apart no zone with a majority.
 func CheckVoters(voters []Voter) error {
-	bad := func(format string, args ...any) error {
+	invalid := func(format string, args ...any) error {
 		return fmt.Errorf("fleet.record.voters: "+format, args...)
 	}
-	if n := len(voters); n != 3 && n != 5 {
-		return bad("%d, want 3 or 5", n)
+	if count := len(voters); count != 3 && count != 5 {
+		return invalid("%d, want 3 or 5", count)
 	}
-	seen, zones := map[string]bool{}, map[string]int{}
+	seen, votersInZone := map[string]bool{}, map[string]int{}
 	for _, v := range voters {
 		if v.Name == "" || len(v.Name) > maxNameLength {
-			return bad("name %q, want 1 to %d bytes", v.Name, maxNameLength)
+			return invalid("name %q, want 1 to %d bytes", v.Name, maxNameLength)
 		}
 		if _, _, err := net.SplitHostPort(v.Addr); err != nil {
-			return bad("%s: %w", v.Name, err)
+			return invalid("%s: %w", v.Name, err)
 		}
 		for _, key := range []string{"name " + v.Name, "address " + v.Addr} {
 			if seen[key] {
-				return bad("%s stands twice", key)
+				return invalid("%s stands twice", key)
 			}
 			seen[key] = true
 		}
 		if v.Zone != "" {
-			zones[v.Zone]++
+			votersInZone[v.Zone]++
 		}
 	}
 	for _, v := range voters {
-		if len(zones) > 1 && zones[v.Zone] > len(voters)/2 && v.Zone != "" {
-			return bad("zone %s holds %d of %d, a majority", v.Zone, zones[v.Zone], len(voters))
+		if len(votersInZone) > 1 && votersInZone[v.Zone] > len(voters)/2 && v.Zone != "" {
+			return invalid("zone %s holds %d of %d, a majority", v.Zone, votersInZone[v.Zone], len(voters))
 		}
 	}
 	return nil
--- a/internal/fleet/replog/raftstore.go
+++ b/internal/fleet/replog/raftstore.go
@@ -26,39 +26,39 @@
 
 // formatLog writes index, term, time, kind, length of the extensions, these, the data, and
 // a sum over all: bbolt has none of its own over values.
-func encodeLog(l *raft.Log) []byte {
-	b := make([]byte, 0, 33+len(l.Extensions)+len(l.Data))
-	b = binary.BigEndian.AppendUint64(b, l.Index)
-	b = binary.BigEndian.AppendUint64(b, l.Term)
-	at := int64(0)
-	if !l.AppendedAt.IsZero() {
-		at = l.AppendedAt.UnixNano()
+func encodeLog(entry *raft.Log) []byte {
+	encoded := make([]byte, 0, 33+len(entry.Extensions)+len(entry.Data))
+	encoded = binary.BigEndian.AppendUint64(encoded, entry.Index)
+	encoded = binary.BigEndian.AppendUint64(encoded, entry.Term)
+	appendedAt := int64(0)
+	if !entry.AppendedAt.IsZero() {
+		appendedAt = entry.AppendedAt.UnixNano()
 	}
-	b = binary.BigEndian.AppendUint64(b, uint64(at))
-	b = append(b, byte(l.Type))
-	b = binary.BigEndian.AppendUint32(b, uint32(len(l.Extensions)))
-	b = append(append(b, l.Extensions...), l.Data...)
-	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+	encoded = binary.BigEndian.AppendUint64(encoded, uint64(appendedAt))
+	encoded = append(encoded, byte(entry.Type))
+	encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(entry.Extensions)))
+	encoded = append(append(encoded, entry.Extensions...), entry.Data...)
+	return binary.BigEndian.AppendUint32(encoded, crc32.Checksum(encoded, castagnoli))
 }
 
-func decodeLog(b []byte) (*raft.Log, error) {
-	if len(b) < 33 || crc32.Checksum(b[:len(b)-4], castagnoli) != binary.BigEndian.Uint32(b[len(b)-4:]) {
+func decodeLog(encoded []byte) (*raft.Log, error) {
+	if len(encoded) < 33 || crc32.Checksum(encoded[:len(encoded)-4], castagnoli) != binary.BigEndian.Uint32(encoded[len(encoded)-4:]) {
 		return nil, errCorruptLog
 	}
-	l := &raft.Log{Index: binary.BigEndian.Uint64(b), Term: binary.BigEndian.Uint64(b[8:]), Type: raft.LogType(b[24])}
-	if at := int64(binary.BigEndian.Uint64(b[16:])); at != 0 {
-		l.AppendedAt = time.Unix(0, at)
+	entry := &raft.Log{Index: binary.BigEndian.Uint64(encoded), Term: binary.BigEndian.Uint64(encoded[8:]), Type: raft.LogType(encoded[24])}
+	if appendedAt := int64(binary.BigEndian.Uint64(encoded[16:])); appendedAt != 0 {
+		entry.AppendedAt = time.Unix(0, appendedAt)
 	}
-	rest := b[29 : len(b)-4]
-	n := binary.BigEndian.Uint32(b[25:])
-	if uint64(n) > uint64(len(rest)) {
+	rest := encoded[29 : len(encoded)-4]
+	extensionsLength := binary.BigEndian.Uint32(encoded[25:])
+	if uint64(extensionsLength) > uint64(len(rest)) {
 		return nil, errCorruptLog
 	}
-	if n > 0 {
-		l.Extensions = bytes.Clone(rest[:n])
+	if extensionsLength > 0 {
+		entry.Extensions = bytes.Clone(rest[:extensionsLength])
 	}
-	l.Data = bytes.Clone(rest[n:])
-	return l, nil
+	entry.Data = bytes.Clone(rest[extensionsLength:])
+	return entry, nil
 }
 
 // FirstIndex returns the first entry's index, or 0.
@@ -76,47 +76,47 @@
 }
 
 // GetLog reads one entry.
-func (d *voterStore) GetLog(index uint64, l *raft.Log) error {
+func (d *voterStore) GetLog(index uint64, entry *raft.Log) error {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	got, ok := d.entries[index]
+	stored, ok := d.entries[index]
 	if !ok {
 		return raft.ErrLogNotFound
 	}
-	*l = *got
+	*entry = *stored
 	return nil
 }
 
 // StoreLog writes one entry.
-func (d *voterStore) StoreLog(l *raft.Log) error { return d.StoreLogs([]*raft.Log{l}) }
+func (d *voterStore) StoreLog(entry *raft.Log) error { return d.StoreLogs([]*raft.Log{entry}) }
 
 // StoreLogs writes entries; they are durable when it returns. Those after a gap, as behind a
 // snapshot that came from the leader, take the place of all before them.
-func (d *voterStore) StoreLogs(logs []*raft.Log) error {
-	if len(logs) == 0 {
+func (d *voterStore) StoreLogs(entries []*raft.Log) error {
+	if len(entries) == 0 {
 		return nil
 	}
-	if last, _ := d.LastIndex(); last != 0 && logs[0].Index > last+1 {
+	if last, _ := d.LastIndex(); last != 0 && entries[0].Index > last+1 {
 		first, _ := d.FirstIndex()
 		if err := d.DeleteRange(first, last); err != nil {
 			return err
 		}
 	}
 	return d.update("log", func(tx *store.Tx) error {
-		b := tx.Bucket(logsBucket)
-		for _, l := range logs {
-			if err := b.Put(binary.BigEndian.AppendUint64(nil, l.Index), encodeLog(l)); err != nil {
+		bucket := tx.Bucket(logsBucket)
+		for _, entry := range entries {
+			if err := bucket.Put(binary.BigEndian.AppendUint64(nil, entry.Index), encodeLog(entry)); err != nil {
 				return err
 			}
 		}
 		return nil
 	}, func() {
-		for _, l := range logs {
-			c := *l
-			d.entries[l.Index] = &c
-			d.lastIndex = max(d.lastIndex, l.Index)
-			if d.firstIndex == 0 || l.Index < d.firstIndex {
-				d.firstIndex = l.Index
+		for _, entry := range entries {
+			copied := *entry
+			d.entries[entry.Index] = &copied
+			d.lastIndex = max(d.lastIndex, entry.Index)
+			if d.firstIndex == 0 || entry.Index < d.firstIndex {
+				d.firstIndex = entry.Index
 			}
 		}
 	})
@@ -125,22 +125,22 @@
 // DeleteRange drops entries, both ends too.
 func (d *voterStore) DeleteRange(from, to uint64) error {
 	return d.update("log", func(tx *store.Tx) error {
-		b := tx.Bucket(logsBucket)
-		for i := from; i <= to; i++ {
-			if err := b.Delete(binary.BigEndian.AppendUint64(nil, i)); err != nil {
+		bucket := tx.Bucket(logsBucket)
+		for index := from; index <= to; index++ {
+			if err := bucket.Delete(binary.BigEndian.AppendUint64(nil, index)); err != nil {
 				return err
 			}
 		}
 		return nil
 	}, func() {
-		for i := from; i <= to; i++ {
-			delete(d.entries, i)
+		for index := from; index <= to; index++ {
+			delete(d.entries, index)
 		}
 		d.firstIndex, d.lastIndex = 0, 0
-		for i := range d.entries {
-			d.lastIndex = max(d.lastIndex, i)
-			if d.firstIndex == 0 || i < d.firstIndex {
-				d.firstIndex = i
+		for index := range d.entries {
+			d.lastIndex = max(d.lastIndex, index)
+			if d.firstIndex == 0 || index < d.firstIndex {
+				d.firstIndex = index
 			}
 		}
 	})
@@ -158,12 +158,12 @@
 		return nil
 	}
 	d.mu.RLock()
-	pairs, same := map[string][]byte{string(key): value}, bytes.Equal(d.stable[string(key)], value)
+	pairs, unchanged := map[string][]byte{string(key): value}, bytes.Equal(d.stable[string(key)], value)
 	if bytes.Equal(key, voteKey) && d.pendingVoteTerm != nil {
-		pairs[string(voteTermKey)], same = d.pendingVoteTerm, false
+		pairs[string(voteTermKey)], unchanged = d.pendingVoteTerm, false
 	}
 	d.mu.RUnlock()
-	if same {
+	if unchanged {
 		return nil
 	}
 	return d.update("vote", func(tx *store.Tx) error {
@@ -200,9 +200,9 @@
 
 // GetUint64 reads a number; none is 0.
 func (d *voterStore) GetUint64(key []byte) (uint64, error) {
-	b, _ := d.Get(key)
-	if len(b) != 8 {
+	value, _ := d.Get(key)
+	if len(value) != 8 {
 		return 0, nil
 	}
-	return binary.BigEndian.Uint64(b), nil
+	return binary.BigEndian.Uint64(value), nil
 }
--- a/internal/fleet/replog/rank.go
+++ b/internal/fleet/replog/rank.go
@@ -10,15 +10,15 @@
 const maxFollowers = 8
 
 func hashWeight(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
+	hasher := fnv.New64a()
+	for _, part := range parts {
+		_, _ = hasher.Write([]byte(part))
+		_, _ = hasher.Write([]byte{0})
 	}
-	x := h.Sum64() // FNV's low bits are poor for names that differ in their last digit
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
+	mixed := hasher.Sum64() // FNV's low bits are poor for names that differ in their last digit
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	return mixed ^ mixed>>33
 }
 
 // order says whom a member asks for the record, the best first. The fleet stands in layers:
@@ -27,53 +27,53 @@
 // is its own (rendezvous), then those nearer to the leader, then the leader, and in need its
 // own layer and those below, where the word's path tells of a circle. The first so many suit
 // it; whom it asks behind them it leaves again when it can.
-func rankUpstreams(self string, voters []Voter, peers []Peer, leader string) (list []Peer, suit int) {
-	votes := map[string]bool{}
+func rankUpstreams(self string, voters []Voter, peers []Peer, leader string) (candidates []Peer, preferred int) {
+	isVoter := map[string]bool{}
 	var above []Peer
-	var lead []Peer
+	var leaders []Peer
 	for _, v := range voters {
-		votes[v.Name] = true
+		isVoter[v.Name] = true
 		switch {
 		case v.Name == self:
 		case v.Name == leader:
-			lead = append(lead, Peer{Name: v.Name, Addr: v.Addr})
+			leaders = append(leaders, Peer{Name: v.Name, Addr: v.Addr})
 		default:
 			above = append(above, Peer{Name: v.Name, Addr: v.Addr})
 		}
 	}
-	byRank := func(list []Peer) {
-		slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(hashWeight(self, a.Name), hashWeight(self, b.Name)) })
+	sortByOwnOrder := func(candidates []Peer) {
+		slices.SortFunc(candidates, func(a, b Peer) int { return cmp.Compare(hashWeight(self, a.Name), hashWeight(self, b.Name)) })
 	}
-	byRank(above)
-	rest := []Peer{{Name: self}}
+	sortByOwnOrder(above)
+	others := []Peer{{Name: self}}
 	for _, p := range peers {
-		if !votes[p.Name] && p.Name != self && p.Addr != "" {
-			rest = append(rest, p)
+		if !isVoter[p.Name] && p.Name != self && p.Addr != "" {
+			others = append(others, p)
 		}
 	}
-	slices.SortFunc(rest, func(a, b Peer) int {
+	slices.SortFunc(others, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(hashWeight(a.Name), hashWeight(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	if votes[self] { // it speaks with the leader anyway
-		rest = slices.DeleteFunc(rest, func(p Peer) bool { return p.Name == self })
-		byRank(rest)
-		return slices.Concat(lead, above, rest), len(lead)
+	if isVoter[self] { // it speaks with the leader anyway
+		others = slices.DeleteFunc(others, func(p Peer) bool { return p.Name == self })
+		sortByOwnOrder(others)
+		return slices.Concat(leaders, above, others), len(leaders)
 	}
 	nearer := [][]Peer{above}
 	var below []Peer
-	for room, reached := max(len(voters)-1, 1)*maxFollowers, false; len(rest) > 0; room *= maxFollowers {
-		layer := slices.Clone(rest[:min(room, len(rest))])
-		rest = rest[len(layer):]
-		if at := slices.IndexFunc(layer, func(p Peer) bool { return p.Name == self }); at >= 0 {
-			layer, reached = slices.Delete(layer, at, at+1), true
+	for capacity, reachedOwnLayer := max(len(voters)-1, 1)*maxFollowers, false; len(others) > 0; capacity *= maxFollowers {
+		layer := slices.Clone(others[:min(capacity, len(others))])
+		others = others[len(layer):]
+		if position := slices.IndexFunc(layer, func(p Peer) bool { return p.Name == self }); position >= 0 {
+			layer, reachedOwnLayer = slices.Delete(layer, position, position+1), true
 		}
-		byRank(layer)
-		if reached {
+		sortByOwnOrder(layer)
+		if reachedOwnLayer {
 			below = append(below, layer...)
 		} else {
 			nearer = append(nearer, layer)
 		}
 	}
 	slices.Reverse(nearer)
-	return slices.Concat(slices.Concat(nearer...), lead, below), len(nearer[0])
+	return slices.Concat(slices.Concat(nearer...), leaders, below), len(nearer[0])
 }
--- a/internal/fleet/replog/record.go
+++ b/internal/fleet/replog/record.go
@@ -36,26 +36,26 @@
 
 // Open checks the options, takes the listener and reads what this member knew last. A fault
 // of the options names its key. A disk that can't be used is no fault: see View.Disk.
-func Open(o Options) (*Replica, error) {
-	if err := o.normalize(); err != nil {
+func Open(options Options) (*Replica, error) {
+	if err := options.normalize(); err != nil {
 		return nil, err
 	}
-	first, err := logentry.NewState(o.Genesis)
+	initialState, err := logentry.NewState(options.Genesis)
 	if err != nil {
 		return nil, fmt.Errorf("fleet.record: %w", err)
 	}
-	r := &Replica{options: o, initialState: first, followers: map[string]*sealedConn{}, leaveUpstream: func() {}, proposalSlots: make(chan struct{}, maxProposals)}
-	if r.transport, err = newTransport(&o); err != nil {
+	r := &Replica{options: options, initialState: initialState, followers: map[string]*sealedConn{}, leaveUpstream: func() {}, proposalSlots: make(chan struct{}, maxProposals)}
+	if r.transport, err = newTransport(&options); err != nil {
 		return nil, err
 	}
-	r.self = Peer{Name: o.Name, Addr: o.Advertise}
+	r.self = Peer{Name: options.Name, Addr: options.Advertise}
 	if r.self.Addr == "" {
 		r.self.Addr = r.transport.Addr().String()
 	}
-	if v, ok := o.findVoter(o.Name); ok {
+	if v, ok := options.findVoter(options.Name); ok {
 		r.isVoter, r.self.Addr = true, v.Addr
 	}
-	r.publisher = newPublisher(first)
+	r.publisher = newPublisher(initialState)
 	r.stateFile = &stateFile{replica: r}
 	r.stateFile.load()
 	if r.isVoter {
@@ -68,30 +68,30 @@
 func (r *Replica) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	wg.Go(func() { r.follow(ctx) })
-	wg.Go(func() { r.stateFile.run(ctx) })
-	wg.Go(func() { r.watchFreshness(ctx) })
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { r.follow(ctx) })
+	running.Go(func() { r.stateFile.run(ctx) })
+	running.Go(func() { r.watchFreshness(ctx) })
 	if r.isVoter {
-		wg.Go(func() { r.runVoter(ctx) })
+		running.Go(func() { r.runVoter(ctx) })
 	}
 	defer cancel()
 	return r.transport.serve(ctx, func(kind byte, c *sealedConn) { r.handleConn(ctx, kind, c) })
 }
 
 // take serves a member's connection to its end.
-func (r *Replica) handleConn(ctx context.Context, kind byte, c *sealedConn) {
-	switch kind {
+func (r *Replica) handleConn(ctx context.Context, purpose byte, c *sealedConn) {
+	switch purpose {
 	case purposeRaft:
-		if l := r.raftLayer.Load(); l != nil {
-			l.deliver(c)
+		if layer := r.raftLayer.Load(); layer != nil {
+			layer.deliver(c)
 		}
 	case purposeFollow:
 		r.serveFollower(ctx, c)
 	case purposePropose, purposeVoterRequest:
 		_ = c.SetDeadline(time.Now().Add(requestTimeout))
-		if kind == purposeVoterRequest {
+		if purpose == purposeVoterRequest {
 			r.serveVoterRequest(c)
 		} else {
 			r.serveProposal(ctx, c)
@@ -109,14 +109,14 @@
 // Changed returns a channel that is closed when View next changes in more than the age of
 // its word, and when that is no longer fresh, or again.
 func (r *Replica) Changed() <-chan struct{} {
-	woken, _ := r.publisher.changes()
-	return woken
+	changed, _ := r.publisher.changes()
+	return changed
 }
 
 // Leads tells whether this member decides what is proposed next.
 func (r *Replica) IsLeader() bool {
-	ra := r.raft.Load()
-	return ra != nil && ra.State() == raft.Leader && r.readyTerm.Load() == ra.CurrentTerm()
+	raftNode := r.raft.Load()
+	return raftNode != nil && raftNode.State() == raft.Leader && r.readyTerm.Load() == raftNode.CurrentTerm()
 }
 
 // Addr is where others reach this member.
@@ -124,12 +124,12 @@
 
 // watch tells when the word grows old, and when it is fresh again.
 func (r *Replica) watchFreshness(ctx context.Context) {
-	t := time.NewTicker(r.options.heartbeatInterval())
-	defer t.Stop()
-	was := false
+	ticker := time.NewTicker(r.options.heartbeatInterval())
+	defer ticker.Stop()
+	wasFresh := false
 	for {
-		if v := r.View(); v.Fresh != was {
-			if was = v.Fresh; was {
+		if v := r.View(); v.Fresh != wasFresh {
+			if wasFresh = v.Fresh; wasFresh {
 				slog.Info("record: heard again", "index", v.State.Index, "leader", v.Leader)
 			} else {
 				slog.Info("record: nothing heard for the lease, holding to what was committed last", "index", v.State.Index, "lease", r.options.Lease)
@@ -137,7 +137,7 @@
 			r.publisher.updateView(func(*View) {})
 		}
 		select {
-		case <-t.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/fleet/replog/serve.go
+++ b/internal/fleet/replog/serve.go
@@ -10,55 +10,55 @@
 
 // feed serves one follower until it goes: what it lacks at once, then each entry as it
 // comes, and each new word of the leader's.
-func (r *Replica) serveFollower(ctx context.Context, c *sealedConn) {
-	defer func() { _ = c.Close() }()
-	var h hello
-	_ = c.SetDeadline(time.Now().Add(r.options.peerTimeout()))
-	if err := readJSON(c, msgHello, &h); err != nil {
+func (r *Replica) serveFollower(ctx context.Context, conn *sealedConn) {
+	defer func() { _ = conn.Close() }()
+	var greeting hello
+	_ = conn.SetDeadline(time.Now().Add(r.options.peerTimeout()))
+	if err := readJSON(conn, msgHello, &greeting); err != nil {
 		return
 	}
-	if refused := r.admitFollower(&h, c); refused != nil {
-		_ = writeJSON(c, msgRejection, refused)
+	if rejected := r.admitFollower(&greeting, conn); rejected != nil {
+		_ = writeJSON(conn, msgRejection, rejected)
 		return
 	}
-	defer r.removeFollower(&h, c)
-	numbers := &upstreamClock{lastSequence: 1, receivedAt: time.Now()}
-	_ = c.SetReadDeadline(time.Time{})
+	defer r.removeFollower(&greeting, conn)
+	clock := &upstreamClock{lastSequence: 1, receivedAt: time.Now()}
+	_ = conn.SetReadDeadline(time.Time{})
 	gone := make(chan struct{})
-	defer func() { _ = c.Close(); <-gone }()
+	defer func() { _ = conn.Close(); <-gone }()
 	go func() { // reads numbers until the connection is closed, by either side
 		defer close(gone)
 		for {
-			if err := numbers.readSequence(c); err != nil {
-				slog.Debug("record: a follower is gone", "follower", h.Name, "err", err)
+			if err := clock.readSequence(conn); err != nil {
+				slog.Debug("record: a follower is gone", "follower", greeting.Name, "err", err)
 				return
 			}
 		}
 	}()
-	at, told := h.Index, time.Time{}
+	sentIndex, sentConfirmedAt := greeting.Index, time.Time{}
 	idle := time.NewTimer(0)
 	defer idle.Stop()
-	for due := true; ; {
-		_, moved := r.publisher.changes()
-		v := r.View()
-		_ = c.SetWriteDeadline(time.Now().Add(r.options.peerTimeout()))
-		n, err := r.sendEntriesAfter(c, at)
+	for heartbeatDue := true; ; {
+		_, changed := r.publisher.changes()
+		view := r.View()
+		_ = conn.SetWriteDeadline(time.Now().Add(r.options.peerTimeout()))
+		index, err := r.sendEntriesAfter(conn, sentIndex)
 		if err != nil {
 			return
 		}
-		at = n
-		if due || v.ConfirmedAt.After(told) {
-			if err := writeJSON(c, msgHeartbeat, r.newHeartbeat(v, numbers)); err != nil {
+		sentIndex = index
+		if heartbeatDue || view.ConfirmedAt.After(sentConfirmedAt) {
+			if err := writeJSON(conn, msgHeartbeat, r.newHeartbeat(view, clock)); err != nil {
 				return
 			}
-			told = v.ConfirmedAt
+			sentConfirmedAt = view.ConfirmedAt
 			idle.Reset(2 * r.options.heartbeatInterval()) // where the leader is heard, its pulse comes first
 		}
-		due = false
+		heartbeatDue = false
 		select {
-		case <-moved:
+		case <-changed:
 		case <-idle.C:
-			due = true
+			heartbeatDue = true
 		case <-gone:
 			return
 		case <-ctx.Done():
@@ -68,83 +68,83 @@
 }
 
 // pass writes all that comes after an index, and returns the last that was written.
-func (r *Replica) sendEntriesAfter(c *sealedConn, at uint64) (uint64, error) {
-	lines, ok := r.publisher.entriesAfter(at)
+func (r *Replica) sendEntriesAfter(conn *sealedConn, index uint64) (uint64, error) {
+	entries, ok := r.publisher.entriesAfter(index)
 	if !ok {
-		s := r.publisher.view.Load().State
-		text, err := encodeState(s)
+		state := r.publisher.view.Load().State
+		payload, err := encodeState(state)
 		if err != nil {
-			return at, err
+			return index, err
 		}
-		return s.Index, writeMessage(c, msgState, text)
+		return state.Index, writeMessage(conn, msgState, payload)
 	}
-	for _, l := range lines {
-		if err := writeMessage(c, msgEntry, binary.BigEndian.AppendUint64(nil, l.index), l.hash[:], l.raw); err != nil {
-			return at, err
+	for _, entry := range entries {
+		if err := writeMessage(conn, msgEntry, binary.BigEndian.AppendUint64(nil, entry.index), entry.hash[:], entry.raw); err != nil {
+			return index, err
 		}
-		at = l.index
+		index = entry.index
 	}
-	return at, nil
+	return index, nil
 }
 
 // beat is this member's word, its age told as of the last number.
-func (r *Replica) newHeartbeat(v View, n *upstreamClock) heartbeat {
-	b := heartbeat{Leader: v.Leader, Path: append(append([]string{}, v.Path...), r.self.Name)}
-	if !v.ConfirmedAt.IsZero() {
-		number, at := n.acknowledge()
-		b.Sequence, b.AgeMicros = number, at.Sub(v.ConfirmedAt).Microseconds()
+func (r *Replica) newHeartbeat(view View, clock *upstreamClock) heartbeat {
+	beat := heartbeat{Leader: view.Leader, Path: append(append([]string{}, view.Path...), r.self.Name)}
+	if !view.ConfirmedAt.IsZero() {
+		sequence, receivedAt := clock.acknowledge()
+		beat.Sequence, beat.AgeMicros = sequence, receivedAt.Sub(view.ConfirmedAt).Microseconds()
 	}
-	return b
+	return beat
 }
 
 // admit takes a follower in, or says why not and who may. Voters always have room.
-func (r *Replica) admitFollower(h *hello, c *sealedConn) *rejection {
-	if h.Name == "" || len(h.Name) > maxNameLength {
-		return &rejection{Reason: fmt.Sprintf("a name of %d bytes", len(h.Name))}
+func (r *Replica) admitFollower(greeting *hello, conn *sealedConn) *rejection {
+	if greeting.Name == "" || len(greeting.Name) > maxNameLength {
+		return &rejection{Reason: fmt.Sprintf("a name of %d bytes", len(greeting.Name))}
 	}
-	if h.Index > r.publisher.view.Load().State.Index {
+	if greeting.Index > r.publisher.view.Load().State.Index {
 		return &rejection{Reason: "behind"}
 	}
-	if known, ok := r.publisher.hashAt(h.Index); ok && known != h.Hash && !r.options.Mutations.SkipHashCheck {
-		slog.Warn("record: a follower has another chain and is refused", "follower", h.Name, "index", h.Index)
+	if known, ok := r.publisher.hashAt(greeting.Index); ok && known != greeting.Hash && !r.options.Mutations.SkipHashCheck {
+		slog.Warn("record: a follower has another chain and is refused", "follower", greeting.Name, "index", greeting.Index)
 		return &rejection{Reason: reasonForked}
 	}
-	_, votes := r.options.findVoter(h.Name)
+	_, isVoter := r.options.findVoter(greeting.Name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old := r.followers[h.Name]; old != nil { // its process is a new one, or it has given the other up
-		_ = old.Close()
-	} else if n := r.nonVoterFollowers(); !votes && n >= maxFollowers {
-		refused := &rejection{Reason: "full"}
-		for name, child := range r.followers {
-			if _, votes := r.options.findVoter(name); !votes {
-				refused.Alternatives = append(refused.Alternatives, Peer{Name: name, Addr: child.followerAddr})
+	if previous := r.followers[greeting.Name]; previous != nil { // its process is a new one, or it has given the other up
+		_ = previous.Close()
+	} else if n := r.nonVoterFollowers(); !isVoter && n >= maxFollowers {
+		rejected := &rejection{Reason: "full"}
+		for name, follower := range r.followers {
+			if _, isVoter := r.options.findVoter(name); !isVoter {
+				rejected.Alternatives = append(rejected.Alternatives, Peer{Name: name, Addr: follower.followerAddr})
 			}
 		}
-		return refused
+		return rejected
 	}
-	c.followerAddr = h.Addr
-	r.followers[h.Name] = c
+	conn.followerAddr = greeting.Addr
+	r.followers[greeting.Name] = conn
 	n := len(r.followers)
 	r.publisher.updateView(func(v *View) { v.FollowerCount = n })
 	return nil
 }
 
 // fed counts the followers that have no vote. The lock is held.
-func (r *Replica) nonVoterFollowers() (n int) {
+func (r *Replica) nonVoterFollowers() (count int) {
 	for name := range r.followers {
-		if _, votes := r.options.findVoter(name); !votes {
-			n++
+		if _, isVoter := r.options.findVoter(name); !isVoter {
+			count++
 		}
 	}
-	return n
+	return count
 }
 
-func (r *Replica) removeFollower(h *hello, c *sealedConn) {
+func (r *Replica) removeFollower(greeting *hello, conn *sealedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.followers[h.Name] == c {
-		delete(r.followers, h.Name)
+	if r.followers[greeting.Name] == conn {
+		delete(r.followers, greeting.Name)
 	}
 	n := len(r.followers)
 	r.publisher.updateView(func(v *View) { v.FollowerCount = n })
--- a/internal/fleet/replog/snapshot.go
+++ b/internal/fleet/replog/snapshot.go
@@ -28,20 +28,20 @@
 	return s.Meta.Index
 }
 
-func decodeSnapshot(b []byte) (*snapshot, error) {
-	s := &snapshot{}
-	if err := json.Unmarshal(b, s); err != nil {
+func decodeSnapshot(encoded []byte) (*snapshot, error) {
+	decoded := &snapshot{}
+	if err := json.Unmarshal(encoded, decoded); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	if _, err := decodeState(s.Data); err != nil {
+	if _, err := decodeState(decoded.Data); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	return s, nil
+	return decoded, nil
 }
 
 // sealState writes a state: the sum of its JSON, and that.
-func encodeState(s *logentry.State) ([]byte, error) {
-	text, err := json.Marshal(s)
+func encodeState(state *logentry.State) ([]byte, error) {
+	text, err := json.Marshal(state)
 	if err != nil {
 		return nil, err
 	}
@@ -49,18 +49,18 @@
 	return append(sum[:], text...), nil
 }
 
-func decodeState(b []byte) (*logentry.State, error) {
-	if len(b) < sha256.Size || len(b) > maxStateSize {
-		return nil, fmt.Errorf("state: %d bytes", len(b))
+func decodeState(encoded []byte) (*logentry.State, error) {
+	if len(encoded) < sha256.Size || len(encoded) > maxStateSize {
+		return nil, fmt.Errorf("state: %d bytes", len(encoded))
 	}
-	if sum := sha256.Sum256(b[sha256.Size:]); !bytes.Equal(sum[:], b[:sha256.Size]) {
+	if sum := sha256.Sum256(encoded[sha256.Size:]); !bytes.Equal(sum[:], encoded[:sha256.Size]) {
 		return nil, errors.New("state: its sum is not good")
 	}
-	s := &logentry.State{}
-	if err := logentry.UnmarshalStrict(b[sha256.Size:], s); err != nil {
+	state := &logentry.State{}
+	if err := logentry.UnmarshalStrict(encoded[sha256.Size:], state); err != nil {
 		return nil, fmt.Errorf("state: %w", err)
 	}
-	return s, nil
+	return state, nil
 }
 
 // sink takes a snapshot that is being made or received.
@@ -72,9 +72,9 @@
 }
 
 // Create begins a snapshot.
-func (d *voterStore) Create(version raft.SnapshotVersion, index, term uint64, c raft.Configuration, configIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
+func (d *voterStore) Create(version raft.SnapshotVersion, index, term uint64, configuration raft.Configuration, configurationIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
 	return &snapshotSink{store: d, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
-		Configuration: c, ConfigurationIndex: configIndex}}, nil
+		Configuration: configuration, ConfigurationIndex: configurationIndex}}, nil
 }
 
 // Write takes a part.
@@ -98,16 +98,16 @@
 	}
 	s.done = true
 	s.meta.Size = int64(s.Len())
-	made := &snapshot{Meta: s.meta, Data: s.Bytes()}
-	if _, err := decodeState(made.Data); err != nil {
+	complete := &snapshot{Meta: s.meta, Data: s.Bytes()}
+	if _, err := decodeState(complete.Data); err != nil {
 		return err
 	}
-	text, err := json.Marshal(made)
+	text, err := json.Marshal(complete)
 	if err != nil {
 		return err
 	}
 	return s.store.update("snapshot", func(tx *store.Tx) error { return tx.Bucket(snapshotBucket).Put(snapshotKey, text) },
-		func() { s.store.snapshot = made })
+		func() { s.store.snapshot = complete })
 }
 
 // List returns the one there is.
--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -37,7 +37,7 @@
 func (f *stateFile) path() string { return filepath.Join(f.replica.options.Dir, "state.db") }
 
 // open opens the file, if it is not open, and returns the state in it, if there is one.
-func (f *stateFile) open() (s *logentry.State, err error) {
+func (f *stateFile) open() (state *logentry.State, err error) {
 	if f.store != nil {
 		return nil, nil
 	}
@@ -45,34 +45,34 @@
 		return nil, err
 	}
 	for range 2 {
-		st, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.replica.options.Mutations.SkipDiskSync})
+		file, err := store.Open(f.path(), stateSchema, store.Options{NoSync: f.replica.options.Mutations.SkipDiskSync})
 		if err != nil {
 			return nil, err
 		}
-		if st.QuarantinePath != "" {
-			slog.Warn("record: state set aside", "why", st.QuarantineReason, "as", st.QuarantinePath)
+		if file.QuarantinePath != "" {
+			slog.Warn("record: state set aside", "why", file.QuarantineReason, "as", file.QuarantinePath)
 		}
-		var text []byte
-		err = st.View(func(tx *store.Tx) error {
-			text = append(text, tx.Bucket(stateBucket).Get(stateKey)...)
+		var encoded []byte
+		err = file.View(func(tx *store.Tx) error {
+			encoded = append(encoded, tx.Bucket(stateBucket).Get(stateKey)...)
 			return nil
 		})
-		word := "torn"
-		if err == nil && len(text) > 0 {
-			if s, err = decodeState(text); err == nil {
-				if err = s.AttachGenesis(f.replica.options.Genesis); err != nil {
-					word = "foreign"
+		label := "torn"
+		if err == nil && len(encoded) > 0 {
+			if state, err = decodeState(encoded); err == nil {
+				if err = state.AttachGenesis(f.replica.options.Genesis); err != nil {
+					label = "foreign"
 				}
 			}
 		}
 		if err == nil {
-			f.store = st
-			return s, nil
+			f.store = file
+			return state, nil
 		}
-		_ = st.Close()
-		aside, failed := setAside(f.path(), word)
-		if failed != nil {
-			return nil, errors.Join(err, failed)
+		_ = file.Close()
+		aside, renameErr := setAside(f.path(), label)
+		if renameErr != nil {
+			return nil, errors.Join(err, renameErr)
 		}
 		slog.Warn("record: state set aside", "why", err, "as", aside)
 	}
@@ -80,18 +80,18 @@
 }
 
 func (f *stateFile) load() {
-	s, err := f.open()
-	if err == nil && s != nil {
-		f.writtenIndex = s.Index
-		f.replica.publisher.publishState(s, nil)
+	state, err := f.open()
+	if err == nil && state != nil {
+		f.writtenIndex = state.Index
+		f.replica.publisher.publishState(state, nil)
 	}
 	f.reportResult(err)
 }
 
 // run writes the state when it has changed, at most once in a while, and at the end.
 func (f *stateFile) run(ctx context.Context) {
-	t := time.NewTicker(diskRetryInterval)
-	defer t.Stop()
+	ticker := time.NewTicker(diskRetryInterval)
+	defer ticker.Stop()
 	defer func() {
 		f.write()
 		if f.store != nil {
@@ -99,16 +99,16 @@
 		}
 	}()
 	for {
-		woken := f.replica.Changed()
+		changed := f.replica.Changed()
 		f.write()
 		select {
-		case <-t.C: // the disk may have come back
-		case <-woken:
+		case <-ticker.C: // the disk may have come back
+		case <-changed:
 		case <-ctx.Done():
 			return
 		}
 		select {
-		case <-t.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
@@ -117,19 +117,19 @@
 
 func (f *stateFile) write() {
 	_, err := f.open()
-	s := f.replica.publisher.view.Load().State
-	if err != nil || s.Index <= f.writtenIndex {
+	state := f.replica.publisher.view.Load().State
+	if err != nil || state.Index <= f.writtenIndex {
 		f.reportResult(err)
 		return
 	}
-	text, err := encodeState(s)
+	encoded, err := encodeState(state)
 	if err == nil {
 		if err = f.replica.options.InjectFault("state"); err == nil {
-			err = f.store.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, text) })
+			err = f.store.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, encoded) })
 		}
 	}
 	if err == nil {
-		f.writtenIndex = s.Index
+		f.writtenIndex = state.Index
 	} else if f.store != nil { // bbolt is not trusted after a write that failed
 		_ = f.store.Close()
 		f.store = nil
--- a/internal/fleet/replog/voter.go
+++ b/internal/fleet/replog/voter.go
@@ -24,8 +24,8 @@
 // voter keeps this member's vote for as long as its disk can be written. When it can't, the
 // member goes on in memory, as a follower, and tries the disk each second.
 func (r *Replica) runVoter(ctx context.Context) {
-	for pause := diskRetryInterval; ctx.Err() == nil; {
-		began := time.Now()
+	for retryDelay := diskRetryInterval; ctx.Err() == nil; {
+		startedAt := time.Now()
 		err := r.runRaft(ctx)
 		if ctx.Err() != nil {
 			return
@@ -33,17 +33,17 @@
 		slog.Warn("record: no vote, going on in memory", "err", err)
 		r.publisher.updateView(func(v *View) { v.Role, v.DiskError = "memory", errorText(err) })
 		r.reselectUpstream()
-		if time.Since(began) > maxDiskRetryInterval {
-			pause = diskRetryInterval
+		if time.Since(startedAt) > maxDiskRetryInterval {
+			retryDelay = diskRetryInterval
 		}
 		for tried := false; !tried || r.probeDisk() != nil; tried = true {
 			select {
-			case <-time.After(pause):
+			case <-time.After(retryDelay):
 			case <-ctx.Done():
 				return
 			}
 		}
-		pause = min(2*pause, maxDiskRetryInterval)
+		retryDelay = min(2*retryDelay, maxDiskRetryInterval)
 	}
 }
 
@@ -59,48 +59,48 @@
 		end = info.Size()
 	}
 	path := filepath.Join(r.options.Dir, "probe")
-	f, err := os.Create(path)
+	file, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	_, err = f.WriteAt(make([]byte, size), end)
-	return errors.Join(err, f.Sync(), f.Close(), os.Remove(path))
+	_, err = file.WriteAt(make([]byte, size), end)
+	return errors.Join(err, file.Sync(), file.Close(), os.Remove(path))
 }
 
 // vote runs raft until ctx ends or the disk fails, and returns why.
 func (r *Replica) runRaft(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l := newRaftLayer(ctx, r.transport, r.self.Addr)
-	defer func() { _ = l.Close() }()
-	d, why, err := openVoterStore(&r.options, func() { _ = l.Close() })
+	layer := newRaftLayer(ctx, r.transport, r.self.Addr)
+	defer func() { _ = layer.Close() }()
+	store, setAsideReason, err := openVoterStore(&r.options, func() { _ = layer.Close() })
 	if err != nil {
 		return err
 	}
-	defer func() { _ = d.close() }()
-	if why != "" {
-		slog.Warn("record: votes set aside", "why", why)
+	defer func() { _ = store.close() }()
+	if setAsideReason != "" {
+		slog.Warn("record: votes set aside", "why", setAsideReason)
 	}
-	r.voterInfo.Store(&voterInfo{StoreID: d.store.ID.String(), Bootstrapped: !d.isBlank(), BootstrapStores: d.bootstrapStores})
+	r.voterInfo.Store(&voterInfo{StoreID: store.store.ID.String(), Bootstrapped: !store.isBlank(), BootstrapStores: store.bootstrapStores})
 	defer r.voterInfo.Store(nil)
 	r.publisher.updateView(func(v *View) { v.Role, v.DiskError = "waiting", "" })
-	if err := r.join(ctx, d); err != nil {
+	if err := r.join(ctx, store); err != nil {
 		return err
 	}
-	r.voterInfo.Store(&voterInfo{StoreID: d.store.ID.String(), Bootstrapped: true, BootstrapStores: d.bootstrapStores})
+	r.voterInfo.Store(&voterInfo{StoreID: store.store.ID.String(), Bootstrapped: true, BootstrapStores: store.bootstrapStores})
 
-	c := raft.DefaultConfig()
-	c.LocalID = raft.ServerID(r.self.Name)
-	c.HeartbeatTimeout, c.ElectionTimeout = r.options.electionTimeout(), r.options.electionTimeout()
-	c.LeaderLeaseTimeout, c.CommitTimeout = r.options.electionTimeout()/2, r.options.electionTimeout()/4
-	c.SnapshotThreshold, c.TrailingLogs, c.SnapshotInterval = trailingLogs, trailingLogs, 15*r.options.Lease
-	c.ShutdownOnRemove = false
-	leads := make(chan bool, 8)
-	c.NotifyCh = leads
-	c.LogOutput, c.LogLevel = debugWriter{r.options.RaftLog}, "INFO"
-	trans := raft.NewNetworkTransport(l, 3, r.options.peerTimeout(), debugWriter{r.options.RaftLog})
-	defer func() { _ = trans.Close() }()
-	ra, err := raft.NewRaft(c, &stateMachine{r, r.initialState}, d, d, d, trans)
+	config := raft.DefaultConfig()
+	config.LocalID = raft.ServerID(r.self.Name)
+	config.HeartbeatTimeout, config.ElectionTimeout = r.options.electionTimeout(), r.options.electionTimeout()
+	config.LeaderLeaseTimeout, config.CommitTimeout = r.options.electionTimeout()/2, r.options.electionTimeout()/4
+	config.SnapshotThreshold, config.TrailingLogs, config.SnapshotInterval = trailingLogs, trailingLogs, 15*r.options.Lease
+	config.ShutdownOnRemove = false
+	leadership := make(chan bool, 8)
+	config.NotifyCh = leadership
+	config.LogOutput, config.LogLevel = debugWriter{r.options.RaftLog}, "INFO"
+	raftTransport := raft.NewNetworkTransport(layer, 3, r.options.peerTimeout(), debugWriter{r.options.RaftLog})
+	defer func() { _ = raftTransport.Close() }()
+	raftNode, err := raft.NewRaft(config, &stateMachine{r, r.initialState}, store, store, store, raftTransport)
 	if err != nil {
 		return fmt.Errorf("raft: %w", err)
 	}
@@ -108,46 +108,46 @@
 		r.raft.Store(nil)
 		r.raftLayer.Store(nil)
 		r.readyTerm.Store(0)
-		_ = l.Close()
-		_ = ra.Shutdown().Error()
+		_ = layer.Close()
+		_ = raftNode.Shutdown().Error()
 		r.reselectUpstream()
 	}()
-	seen := make(chan raft.Observation, 8)
-	watcher := raft.NewObserver(seen, false, func(o *raft.Observation) bool { _, ok := o.Data.(raft.LeaderObservation); return ok })
-	ra.RegisterObserver(watcher)
-	defer ra.DeregisterObserver(watcher)
-	r.raft.Store(ra)
-	r.raftLayer.Store(l)
-	return r.superviseRaft(ctx, d, ra, leads, seen)
+	leaderChanges := make(chan raft.Observation, 8)
+	observer := raft.NewObserver(leaderChanges, false, func(o *raft.Observation) bool { _, ok := o.Data.(raft.LeaderObservation); return ok })
+	raftNode.RegisterObserver(observer)
+	defer raftNode.DeregisterObserver(observer)
+	r.raft.Store(raftNode)
+	r.raftLayer.Store(layer)
+	return r.superviseRaft(ctx, store, raftNode, leadership, leaderChanges)
 }
 
 // stand follows raft's changes until the disk fails.
-func (r *Replica) superviseRaft(ctx context.Context, d *voterStore, ra *raft.Raft, leads <-chan bool, seen <-chan raft.Observation) error {
-	ended := make(chan struct{})
-	defer func() { <-ended }()
+func (r *Replica) superviseRaft(ctx context.Context, store *voterStore, raftNode *raft.Raft, leadership <-chan bool, leaderChanges <-chan raft.Observation) error {
+	confirmationEnded := make(chan struct{})
+	defer func() { <-confirmationEnded }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() { // pulses as long as raft runs; ends with ctx or when raft no longer answers
-		defer close(ended)
-		r.confirmLeadership(ctx, ra)
+		defer close(confirmationEnded)
+		r.confirmLeadership(ctx, raftNode)
 	}()
-	t := time.NewTicker(r.options.electionTimeout())
-	defer t.Stop()
+	ticker := time.NewTicker(r.options.electionTimeout())
+	defer ticker.Stop()
 	for {
-		r.publishRole(ra)
+		r.publishRole(raftNode)
 		select {
-		case <-leads:
-			r.publishRole(ra)
+		case <-leadership:
+			r.publishRole(raftNode)
 			r.reselectUpstream()
-		case <-seen:
-			r.publishRole(ra)
+		case <-leaderChanges:
+			r.publishRole(raftNode)
 			r.reselectUpstream()
-		case <-t.C:
-			r.requestPromotion(ctx, ra)
-		case <-d.failed:
-			d.writeMu.Lock()
-			defer d.writeMu.Unlock()
-			return d.writeErr
+		case <-ticker.C:
+			r.requestPromotion(ctx, raftNode)
+		case <-store.failed:
+			store.writeMu.Lock()
+			defer store.writeMu.Unlock()
+			return store.writeErr
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -155,13 +155,13 @@
 }
 
 // show brings role and leader into the view.
-func (r *Replica) publishRole(ra *raft.Raft) {
-	_, leader := ra.LeaderWithID()
+func (r *Replica) publishRole(raftNode *raft.Raft) {
+	_, leader := raftNode.LeaderWithID()
 	role := "voter"
 	switch {
 	case r.IsLeader():
 		role = "leader"
-	case !hasVote(ra, r.self.Name):
+	case !hasVote(raftNode, r.self.Name):
 		role = "waiting"
 	}
 	v := r.publisher.view.Load()
@@ -178,23 +178,23 @@
 
 // pulses gives the fleet the leader's word while this member leads. A word counts from the
 // moment before a majority confirmed it.
-func (r *Replica) confirmLeadership(ctx context.Context, ra *raft.Raft) {
-	t := time.NewTicker(r.options.heartbeatInterval())
-	defer t.Stop()
+func (r *Replica) confirmLeadership(ctx context.Context, raftNode *raft.Raft) {
+	ticker := time.NewTicker(r.options.heartbeatInterval())
+	defer ticker.Stop()
 	for {
-		if ra.State() == raft.Leader {
-			if term := ra.CurrentTerm(); r.readyTerm.Load() != term && ra.Barrier(r.options.Lease).Error() == nil {
+		if raftNode.State() == raft.Leader {
+			if term := raftNode.CurrentTerm(); r.readyTerm.Load() != term && raftNode.Barrier(r.options.Lease).Error() == nil {
 				r.readyTerm.Store(term)
-				r.publishRole(ra)
+				r.publishRole(raftNode)
 				r.reselectUpstream()
 			}
-			at := time.Now()
-			if r.IsLeader() && ra.VerifyLeader().Error() == nil {
-				r.publisher.confirmLeader(at, r.self.Name, nil)
+			confirmedAt := time.Now()
+			if r.IsLeader() && raftNode.VerifyLeader().Error() == nil {
+				r.publisher.confirmLeader(confirmedAt, r.self.Name, nil)
 			}
 		}
 		select {
-		case <-t.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
@@ -205,11 +205,11 @@
 type debugWriter struct{ to io.Writer }
 
 func (d debugWriter) Write(b []byte) (int, error) {
-	for _, text := range strings.Split(strings.TrimSpace(string(b)), "\n") {
-		if at := strings.IndexByte(text, '['); at >= 0 {
-			text = text[at:]
+	for _, line := range strings.Split(strings.TrimSpace(string(b)), "\n") {
+		if levelAt := strings.IndexByte(line, '['); levelAt >= 0 {
+			line = line[levelAt:]
 		}
-		if _, err := io.WriteString(d.to, "[DEBUG] record: "+text+"\n"); err != nil {
+		if _, err := io.WriteString(d.to, "[DEBUG] record: "+line+"\n"); err != nil {
 			return 0, err
 		}
 	}
