--- a/internal/upstream/branch.go
+++ b/internal/upstream/branch.go
@@ -18,75 +18,75 @@
 )
 
 // branch is one attempt of a transaction.
-type branch struct {
-	hops     *Pool
-	t        *proxy.Session
-	hop      *hop
+type attempt struct {
+	pool     *Pool
+	session  *proxy.Session
+	endpoint *endpointState
 	deadline time.Time
 }
 
 // Start starts a branch; it ends with its transaction's context or at the
 // deadline, and is told to the watcher.
-func (h *Pool) StartAttempt(item dispatch.Placement, attempt int, server string, deadline time.Time) {
-	t := item.(*proxy.Session) // exchange.Decided brings no others here
-	b := &branch{hops: h, t: t, hop: h.get(server), deadline: deadline}
+func (p *Pool) StartAttempt(placement dispatch.Placement, attemptNumber int, server string, deadline time.Time) {
+	session := placement.(*proxy.Session) // exchange.Decided brings no others here
+	a := &attempt{pool: p, session: session, endpoint: p.lookup(server), deadline: deadline}
 	go func() {
-		begun := time.Now()
-		up, outcome, load := b.run()
-		latency := time.Since(begun)
-		if up {
-			h.watch.AttemptEstablished(t, attempt, server, latency)
+		startedAt := time.Now()
+		established, outcome, load := a.run()
+		latency := time.Since(startedAt)
+		if established {
+			p.observer.AttemptEstablished(session, attemptNumber, server, latency)
 			return
 		}
-		h.watch.AttemptEnded(t, attempt, server, outcome, latency, load)
+		p.observer.AttemptEnded(session, attemptNumber, server, outcome, latency, load)
 	}()
 }
 
 // run makes the attempt. Unless it is up, its socket is closed on return. One whose
 // transaction is over meanwhile was called off, whatever came of its socket then: its
 // caller has left, and that speaks for no next hop. Told as a reset, it could.
-func (b *branch) run() (up bool, outcome balance.Outcome, load balance.LoadReport) {
-	if b.hop == nil {
+func (a *attempt) run() (established bool, outcome balance.Outcome, load balance.LoadReport) {
+	if a.endpoint == nil {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
-	up, outcome, load = b.attempt()
-	if !up && b.t.Context().Err() != nil {
+	established, outcome, load = a.connect()
+	if !established && a.session.Context().Err() != nil {
 		outcome = balance.Cancelled
 	}
-	return up, outcome, load
+	return established, outcome, load
 }
 
-func (b *branch) attempt() (up bool, outcome balance.Outcome, load balance.LoadReport) {
-	conn, err := b.hops.dial(b.t.Context(), b.hop.address(), b.deadline)
+func (a *attempt) connect() (established bool, outcome balance.Outcome, load balance.LoadReport) {
+	conn, err := a.pool.dial(a.session.Context(), a.endpoint.address(), a.deadline)
 	if err != nil {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
-	l := bufconn.New(conn)
-	stop := context.AfterFunc(b.t.Context(), func() { _ = conn.Close() })
-	up, outcome, load = b.offer(l, stop)
-	if !up {
+	buffered := bufconn.New(conn)
+	stop := context.AfterFunc(a.session.Context(), func() { _ = conn.Close() })
+	established, outcome, load = a.forwardFirstLine(buffered, stop)
+	if !established {
 		stop()
-		l.Release()
+		buffered.Release()
 	}
-	return up, outcome, load
+	return established, outcome, load
 }
 
 // offer writes the first line and waits for the answer.
-func (b *branch) offer(l *bufconn.Conn, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
+func (a *attempt) forwardFirstLine(conn *bufconn.Conn, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
 	now := time.Now()
 	// A dial may take long: what has come meanwhile counts, so it is looked at again just
 	// before the first byte. The caller may have left, in a moment in which nobody has
 	// closed this socket yet; the next hop may drain; and the deadline, which for what may
 	// have run before is no later than the end of its window, may have come.
-	if b.t.Context().Err() != nil || !now.Before(b.deadline) ||
-		b.t.CurrentServer == "" && !b.hop.mayTake(now, b.hops.limits.Load().DrainGrace/2) {
+	if a.session.Context().Err() != nil || !now.Before(a.deadline) ||
+		a.session.CurrentServer == "" && !a.endpoint.acceptsSessions(now, a.pool.limits.Load().DrainGrace/2) {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport
 	}
-	if err := l.WriteLine(b.t.ForwardLine(now, b.deadline), b.deadline); err != nil {
+	if err := conn.WriteLine(a.session.ForwardLine(now, a.deadline), a.deadline); err != nil {
 		return false, balance.ConnectFailed, balance.EmptyLoadReport // its last byte was not written
 	}
-	b.t.Metrics.Forwarded()
-	text, err := l.ReadTextLineBefore(b.deadline)
+	a.session.Metrics.Forwarded()
+	text, err := conn.ReadTextLineBefore(a.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return false, balance.TimedOut, balance.EmptyLoadReport
@@ -96,8 +96,8 @@
 	reply, load := lineproto.ParseReply(text)
 	switch reply {
 	case lineproto.Up:
-		_ = l.SetReadDeadline(time.Time{})
-		if stop() && b.t.Establish(string(text), b.hop.id, l) {
+		_ = conn.SetReadDeadline(time.Time{})
+		if stop() && a.session.Establish(string(text), a.endpoint.id, conn) {
 			return true, balance.OK, load
 		}
 		return false, balance.Cancelled, load
@@ -108,22 +108,22 @@
 	case lineproto.Moved:
 		return false, balance.Cancelled, load
 	case lineproto.Malformed:
-		b.hops.bad.Warn("malformed answer", "nexthop", b.hop.id, "line", fmt.Sprintf("%.60q", text))
+		a.pool.malformedLog.Warn("malformed answer", "nexthop", a.endpoint.id, "line", fmt.Sprintf("%.60q", text))
 	}
 	return false, balance.Errored, load
 }
 
 // dial connects before the deadline, or the limit for connections if that is
 // sooner.
-func (h *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	connect := h.limits.Load().ConnectTimeout
-	if most := time.Now().Add(connect); connect > 0 && most.Before(deadline) {
-		deadline = most
+func (p *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	timeout := p.limits.Load().ConnectTimeout
+	if connectDeadline := time.Now().Add(timeout); timeout > 0 && connectDeadline.Before(deadline) {
+		deadline = connectDeadline
 	}
-	return h.Dial(ctx, addr, deadline)
+	return p.Dial(ctx, addr, deadline)
 }
 
 func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", addr)
+	dialer := net.Dialer{Deadline: deadline, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", addr)
 }
--- a/internal/upstream/nexthop.go
+++ b/internal/upstream/nexthop.go
@@ -38,145 +38,145 @@
 	// way. Set before anything is started.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
-	ctx    context.Context // ends every probe connection
-	limits atomic.Pointer[Limits]
-	watch  Observer
-	bad    logging.Throttled
+	ctx          context.Context // ends every probe connection
+	limits       atomic.Pointer[Limits]
+	observer     Observer
+	malformedLog logging.Throttled
 
-	mu   sync.Mutex
-	hops map[string]*hop
+	mu        sync.Mutex
+	endpoints map[string]*endpointState
 }
 
 // hop is one next hop.
-type hop struct {
+type endpointState struct {
 	id string
 
-	mu      sync.Mutex
-	addr    string
-	leaving time.Time // when the roster told that it drains or is gone; zero if not
-	mute    bool      // it did not answer its last probe
+	mu             sync.Mutex
+	addr           string
+	drainStartedAt time.Time // when the roster told that it drains or is gone; zero if not
+	unresponsive   bool      // it did not answer its last probe
 
-	probes chan struct{} // a probe is wanted
-	cancel context.CancelFunc
+	probeRequests chan struct{} // a probe is wanted
+	cancel        context.CancelFunc
 }
 
 // New returns Hops without any next hop; their probe connections end with ctx.
-func New(ctx context.Context, l Limits) *Pool {
-	h := &Pool{Dial: dial, ctx: ctx, hops: map[string]*hop{}}
-	h.SetLimits(l)
-	return h
+func New(ctx context.Context, limits Limits) *Pool {
+	p := &Pool{Dial: dial, ctx: ctx, endpoints: map[string]*endpointState{}}
+	p.SetLimits(limits)
+	return p
 }
 
 // Limit bounds what is spent from now on.
-func (h *Pool) SetLimits(l Limits) { h.limits.Store(&l) }
+func (p *Pool) SetLimits(limits Limits) { p.limits.Store(&limits) }
 
 // Listed is how many next hops the list names.
-func (h *Pool) EndpointCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.hops)
+func (p *Pool) EndpointCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.endpoints)
 }
 
 // Watch names who is told; call it before anything is started.
-func (h *Pool) SetObserver(w Observer) { h.watch = w }
+func (p *Pool) SetObserver(observer Observer) { p.observer = observer }
 
 // Update takes what the roster has told.
-func (h *Pool) Update(full bool, entries []discovery.Endpoint, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+func (p *Pool) Update(full bool, entries []discovery.Endpoint, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	listed := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-		p := h.hops[e.ID]
-		if p == nil {
-			p = &hop{id: e.ID, probes: make(chan struct{}, 1)}
-			h.hops[e.ID] = p
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		endpoint := p.endpoints[entry.ID]
+		if endpoint == nil {
+			endpoint = &endpointState{id: entry.ID, probeRequests: make(chan struct{}, 1)}
+			p.endpoints[entry.ID] = endpoint
 			var ctx context.Context
-			ctx, p.cancel = context.WithCancel(h.ctx)
-			go h.probeLoop(ctx, p)
+			ctx, endpoint.cancel = context.WithCancel(p.ctx)
+			go p.probeLoop(ctx, endpoint)
 		}
-		p.set(e.Addr, e.State != balance.Ready, now)
-		if e.State == balance.Gone {
-			h.drop(p)
+		endpoint.update(entry.Addr, entry.State != balance.Ready, now)
+		if entry.State == balance.Gone {
+			p.remove(endpoint)
 		}
 	}
-	for id, p := range h.hops {
+	for id, endpoint := range p.endpoints {
 		if full && !listed[id] {
-			p.set("", true, now)
-			h.drop(p)
+			endpoint.update("", true, now)
+			p.remove(endpoint)
 		}
 	}
 }
 
 // drop ends a next hop that is gone. Branches that hold it still see that it
 // is leaving.
-func (h *Pool) drop(p *hop) {
-	p.cancel()
-	delete(h.hops, p.id)
+func (p *Pool) remove(endpoint *endpointState) {
+	endpoint.cancel()
+	delete(p.endpoints, endpoint.id)
 }
 
-func (h *Pool) get(id string) *hop {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.hops[id]
-}
-
-func (p *hop) set(addr string, leaving bool, now time.Time) {
+func (p *Pool) lookup(id string) *endpointState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.endpoints[id]
+}
+
+func (e *endpointState) update(addr string, draining bool, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if addr != "" {
-		p.addr = addr
+		e.addr = addr
 	}
 	switch {
-	case !leaving:
-		p.leaving = time.Time{}
-	case p.leaving.IsZero():
-		p.leaving = now
+	case !draining:
+		e.drainStartedAt = time.Time{}
+	case e.drainStartedAt.IsZero():
+		e.drainStartedAt = now
 	}
 }
 
-func (p *hop) address() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addr
+func (e *endpointState) address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.addr
 }
 
 // mayTake tells whether a first line may still go there.
-func (p *hop) mayTake(now time.Time, grace time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.leaving.IsZero() || now.Before(p.leaving.Add(grace))
+func (e *endpointState) acceptsSessions(now time.Time, grace time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.drainStartedAt.IsZero() || now.Before(e.drainStartedAt.Add(grace))
 }
 
 // Address is where a next hop is; empty if it is not known.
-func (h *Pool) Address(server string) string {
-	if p := h.get(server); p != nil {
-		return p.address()
+func (p *Pool) Address(server string) string {
+	if endpoint := p.lookup(server); endpoint != nil {
+		return endpoint.address()
 	}
 	return ""
 }
 
 // MaySend tells whether a datagram may still go to a next hop. Of the grace after a
 // drain half is kept back, for what is under way.
-func (h *Pool) CanSend(server string, now time.Time) bool {
-	p := h.get(server)
-	return p != nil && p.mayTake(now, h.limits.Load().DrainGrace/2)
+func (p *Pool) CanSend(server string, now time.Time) bool {
+	endpoint := p.lookup(server)
+	return endpoint != nil && endpoint.acceptsSessions(now, p.limits.Load().DrainGrace/2)
 }
 
 // Answers tells whether a next hop has answered its last probe; one that was never asked
 // passes.
-func (h *Pool) IsResponsive(server string) bool {
-	p := h.get(server)
-	if p == nil {
+func (p *Pool) IsResponsive(server string) bool {
+	endpoint := p.lookup(server)
+	if endpoint == nil {
 		return false
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.mute
+	endpoint.mu.Lock()
+	defer endpoint.mu.Unlock()
+	return !endpoint.unresponsive
 }
 
 // Leaving tells whether a next hop drains or is gone.
-func (h *Pool) IsDraining(server string, now time.Time) bool {
-	p := h.get(server)
-	return p == nil || !p.mayTake(now, 0)
+func (p *Pool) IsDraining(server string, now time.Time) bool {
+	endpoint := p.lookup(server)
+	return endpoint == nil || !endpoint.acceptsSessions(now, 0)
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -14,71 +14,71 @@
 )
 
 // Probe asks a next hop for its load.
-func (h *Pool) Probe(server string) {
-	p := h.get(server)
-	if p == nil {
-		go h.watch.ProbeEnded(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
+func (p *Pool) Probe(server string) {
+	endpoint := p.lookup(server)
+	if endpoint == nil {
+		go p.observer.ProbeEnded(server, balance.ConnectFailed, 0, balance.EmptyLoadReport)
 		return
 	}
 	select {
-	case p.probes <- struct{}{}:
+	case endpoint.probeRequests <- struct{}{}:
 	default: // one is waiting already, and answers both
 	}
 }
 
 // probeLoop owns the kept connection of one next hop.
-func (h *Pool) probeLoop(ctx context.Context, p *hop) {
-	var l *bufconn.Conn
-	at := "" // where l goes to
-	closeKept := func() {
-		if l != nil {
-			l.Release()
-			l = nil
+func (p *Pool) probeLoop(ctx context.Context, endpoint *endpointState) {
+	var kept *bufconn.Conn
+	connectedAddr := "" // where l goes to
+	closeConn := func() {
+		if kept != nil {
+			kept.Release()
+			kept = nil
 		}
 	}
-	defer closeKept()
+	defer closeConn()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.probes:
+		case <-endpoint.probeRequests:
 		}
-		if addr := p.address(); addr != at || l != nil && !quiet(l) {
-			closeKept() // whoever answers there is somebody else, or nobody any more
-			at = addr
+		if addr := endpoint.address(); addr != connectedAddr || kept != nil && !isIdle(kept) {
+			closeConn() // whoever answers there is somebody else, or nobody any more
+			connectedAddr = addr
 		}
-		begun := time.Now()
-		deadline := begun.Add(h.limits.Load().ProbeTimeout)
-		kept := l != nil
-		load, err := h.stats(ctx, p.id, at, &l, deadline)
-		if err != nil && kept && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errStats) {
+		startedAt := time.Now()
+		deadline := startedAt.Add(p.limits.Load().ProbeTimeout)
+		reused := kept != nil
+		load, err := p.queryLoad(ctx, endpoint.id, connectedAddr, &kept, deadline)
+		if err != nil && reused && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errNotLoadReport) {
 			// The next hop may have closed it while it was idle. An answer that
 			// is no report is one all the same: asking again would only add to
 			// whatever ails it.
-			closeKept()
-			load, err = h.stats(ctx, p.id, at, &l, deadline)
+			closeConn()
+			load, err = p.queryLoad(ctx, endpoint.id, connectedAddr, &kept, deadline)
 		}
 		if ctx.Err() != nil {
 			return // gone: what came of it says nothing of who may have its id now
 		}
 		outcome := balance.OK
 		if err != nil {
-			outcome = probeOutcome(err, l != nil)
-			closeKept()
+			outcome = probeOutcome(err, kept != nil)
+			closeConn()
 		}
-		p.mu.Lock()
-		p.mute = outcome != balance.OK && outcome != balance.Errored
-		p.mu.Unlock()
-		h.watch.ProbeEnded(p.id, outcome, time.Since(begun), load)
+		endpoint.mu.Lock()
+		endpoint.unresponsive = outcome != balance.OK && outcome != balance.Errored
+		endpoint.mu.Unlock()
+		p.observer.ProbeEnded(endpoint.id, outcome, time.Since(startedAt), load)
 	}
 }
 
 // errStats marks an answer that is no load report.
-var errStats = errors.New("probe")
+var errNotLoadReport = errors.New("probe")
 
 func probeOutcome(err error, connected bool) balance.Outcome {
 	switch {
-	case errors.Is(err, errStats):
+	case errors.Is(err, errNotLoadReport):
 		return balance.Errored
 	case !connected:
 		return balance.ConnectFailed
@@ -89,28 +89,28 @@
 }
 
 // stats asks over the kept connection, which it makes if there is none.
-func (h *Pool) stats(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
+func (p *Pool) queryLoad(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
 	if *kept == nil {
-		conn, err := h.dial(ctx, addr, deadline)
+		conn, err := p.dial(ctx, addr, deadline)
 		if err != nil {
 			return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 		}
 		*kept = bufconn.New(conn)
 	}
-	l := *kept
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	buffered := *kept
+	stop := context.AfterFunc(ctx, func() { _ = buffered.Close() })
 	defer stop()
-	if err := l.WriteLine(lineproto.Stats, deadline); err != nil {
+	if err := buffered.WriteLine(lineproto.Stats, deadline); err != nil {
 		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
-	text, err := l.ReadTextLineBefore(deadline)
+	text, err := buffered.ReadTextLineBefore(deadline)
 	if err != nil {
 		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
 	}
 	slog.Debug("probe", "nexthop", id, "line", string(text))
 	load, err := lineproto.ParseStats(text)
 	if err != nil {
-		return balance.EmptyLoadReport, errors.Join(errStats, err)
+		return balance.EmptyLoadReport, errors.Join(errNotLoadReport, err)
 	}
 	return load, nil
 }
--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -11,11 +11,11 @@
 // while it rested, and nobody would answer. A line is a second answer
 // to the last question; taken for the next one's, all later answers would be one behind.
 // It waits for nothing. What is read is lost: a connection that is not quiet is not kept.
-func quiet(l *bufconn.Conn) bool {
-	if l.R.Buffered() > 0 {
+func isIdle(buffered *bufconn.Conn) bool {
+	if buffered.R.Buffered() > 0 {
 		return false
 	}
-	conn, ok := l.Conn.(syscall.Conn)
+	conn, ok := buffered.Conn.(syscall.Conn)
 	if !ok {
 		return true // a test's, without a descriptor
 	}
@@ -23,12 +23,12 @@
 	if err != nil {
 		return false
 	}
-	nothing := false
+	idle := false
 	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		nothing = err == syscall.EAGAIN || err == syscall.EINTR
+		var buffer [1]byte
+		_, err := syscall.Read(int(fd), buffer[:])
+		idle = err == syscall.EAGAIN || err == syscall.EINTR
 		return true
 	})
-	return err == nil && nothing
+	return err == nil && idle
 }
