--- a/internal/route/ranges.go
+++ b/internal/route/ranges.go
@@ -8,19 +8,19 @@
 
 // span is a range of the groups' places, to not among them but for the last place of all,
 // and the route that takes it.
-type span struct {
+type hashRange struct {
 	from, to uint64
 	route    *Route
 }
 
 // at finds the route that takes a place.
-func (c *cell) at(place uint64) *Route {
-	if c.rank&byRange == 0 {
-		return c.spans[0].route
+func (b *bucket) lookup(hash uint64) *Route {
+	if b.specificity&byRange == 0 {
+		return b.ranges[0].route
 	}
-	low, high := 0, len(c.spans) // the first that begins beyond the place
+	low, high := 0, len(b.ranges) // the first that begins beyond the place
 	for low < high {
-		if mid := int(uint(low+high) >> 1); c.spans[mid].from > place {
+		if mid := int(uint(low+high) >> 1); b.ranges[mid].from > hash {
 			high = mid
 		} else {
 			low = mid + 1
@@ -29,15 +29,15 @@
 	if low == 0 {
 		return nil
 	}
-	if s := &c.spans[low-1]; place < s.to || s.to == ^uint64(0) {
-		return s.route
+	if candidate := &b.ranges[low-1]; hash < candidate.to || candidate.to == ^uint64(0) {
+		return candidate.route
 	}
 	return nil
 }
 
 // apart cuts claims, which come by path, so that each place is the first path's that claims
 // it.
-func apart(claims []span) (spans []span) {
+func splitOverlaps(claims []hashRange) (ranges []hashRange) {
 	if len(claims) == 1 {
 		return claims
 	}
@@ -50,38 +50,38 @@
 	slices.SortFunc(byFrom, func(i, j int) int { return cmp.Compare(claims[i].from, claims[j].from) })
 	slices.Sort(edges)
 	edges = slices.Compact(edges)
-	open := &first{}
+	active := &indexHeap{}
 	for i, from := range edges[:len(edges)-1] {
 		for len(byFrom) > 0 && claims[byFrom[0]].from == from {
-			heap.Push(open, byFrom[0])
+			heap.Push(active, byFrom[0])
 			byFrom = byFrom[1:]
 		}
-		for len(*open) > 0 && claims[(*open)[0]].to <= from {
-			heap.Pop(open)
+		for len(*active) > 0 && claims[(*active)[0]].to <= from {
+			heap.Pop(active)
 		}
-		if len(*open) == 0 {
+		if len(*active) == 0 {
 			continue
 		}
-		owner, last := claims[(*open)[0]].route, len(spans)-1
-		if last >= 0 && spans[last].route == owner && spans[last].to == from {
-			spans[last].to = edges[i+1]
+		owner, last := claims[(*active)[0]].route, len(ranges)-1
+		if last >= 0 && ranges[last].route == owner && ranges[last].to == from {
+			ranges[last].to = edges[i+1]
 		} else {
-			spans = append(spans, span{from, edges[i+1], owner})
+			ranges = append(ranges, hashRange{from, edges[i+1], owner})
 		}
 	}
-	return spans
+	return ranges
 }
 
 // first is a heap of claims' numbers.
-type first []int
+type indexHeap []int
 
-func (f first) Len() int           { return len(f) }
-func (f first) Less(i, j int) bool { return f[i] < f[j] }
-func (f first) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
-func (f *first) Push(x any)        { *f = append(*f, x.(int)) }
-func (f *first) Pop() any {
-	last := len(*f) - 1
-	x := (*f)[last]
-	*f = (*f)[:last]
+func (h indexHeap) Len() int           { return len(h) }
+func (h indexHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h indexHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *indexHeap) Push(x any)        { *h = append(*h, x.(int)) }
+func (h *indexHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
 	return x
 }
--- a/internal/route/resolve.go
+++ b/internal/route/resolve.go
@@ -19,49 +19,51 @@
 //
 // Parts and shares are of transactions, and the module keeps parts of draws: a zone with
 // twice the next hops is drawn twice as often, so that it keeps half for the same part.
-func resolve(e *Entry, steered *Allocation, ready map[string]int) *balance.ZoneConstraint {
-	if len(e.ZoneShares) == 0 && len(e.AllowedZones) == 0 && steered == nil {
+func resolveBound(entry *Entry, allocation *Allocation, readyEndpoints map[string]int) *balance.ZoneConstraint {
+	if len(entry.ZoneShares) == 0 && len(entry.AllowedZones) == 0 && allocation == nil {
 		return nil
 	}
-	bound := &balance.ZoneConstraint{Name: e.Path()}
-	open := func(zone string) bool { return len(e.AllowedZones) == 0 || slices.Contains(e.AllowedZones, zone) }
-	if len(e.ZoneShares) == 0 && steered == nil {
-		for _, zone := range e.AllowedZones {
+	bound := &balance.ZoneConstraint{Name: entry.Path()}
+	isAllowed := func(zone string) bool {
+		return len(entry.AllowedZones) == 0 || slices.Contains(entry.AllowedZones, zone)
+	}
+	if len(entry.ZoneShares) == 0 && allocation == nil {
+		for _, zone := range entry.AllowedZones {
 			bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: 1})
 		}
 		return bound
 	}
 	weights := map[string]float64{}
-	for _, p := range e.ZoneShares {
-		if open(p.Zone) && p.Percent > 0 {
-			weights[p.Zone] = p.Percent
+	for _, share := range entry.ZoneShares {
+		if isAllowed(share.Zone) && share.Percent > 0 {
+			weights[share.Zone] = share.Percent
 		}
 	}
-	if steered != nil {
-		both := map[string]float64{}
-		for zone, share := range steered.Shares {
+	if allocation != nil {
+		combined := map[string]float64{}
+		for zone, share := range allocation.Shares {
 			weight := 1.0
-			if len(e.ZoneShares) > 0 {
+			if len(entry.ZoneShares) > 0 {
 				weight = weights[zone]
 			}
-			if open(zone) && share*weight > 0 {
-				both[zone] = share * weight
+			if isAllowed(zone) && share*weight > 0 {
+				combined[zone] = share * weight
 			}
 		}
-		if len(both) == 0 && len(e.ZoneShares) == 0 { // what the owner may use is all there is
-			return resolve(&Entry{Name: e.Name, Owner: e.Owner, AllowedZones: e.AllowedZones}, nil, ready)
+		if len(combined) == 0 && len(entry.ZoneShares) == 0 { // what the owner may use is all there is
+			return resolveBound(&Entry{Name: entry.Name, Owner: entry.Owner, AllowedZones: entry.AllowedZones}, nil, readyEndpoints)
 		}
-		if len(both) > 0 {
-			weights = both
+		if len(combined) > 0 {
+			weights = combined
 		}
 	}
-	greatest := 0.0
-	for zone, w := range weights {
-		weights[zone] = w / float64(max(ready[zone], 1))
-		greatest = max(greatest, weights[zone])
+	largest := 0.0
+	for zone, weight := range weights {
+		weights[zone] = weight / float64(max(readyEndpoints[zone], 1))
+		largest = max(largest, weights[zone])
 	}
-	for zone, w := range weights {
-		bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: w / greatest})
+	for zone, weight := range weights {
+		bound.Zones = append(bound.Zones, balance.ZoneShare{Zone: zone, Share: weight / largest})
 	}
 	slices.SortFunc(bound.Zones, func(a, b balance.ZoneShare) int {
 		if a.Zone < b.Zone {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -40,14 +40,14 @@
 
 // Table finds routes. It is never changed.
 type Table struct {
-	Index   uint64
-	seed    maphash.Seed
-	entries map[string]Entry // by path
-	routes  map[string]*Route
-	steered map[string]Allocation
-	ready   map[string]int
-	ranks   []int // that routes have, the most specific first
-	cells   map[uint64]*cell
+	Index          uint64
+	seed           maphash.Seed
+	entries        map[string]Entry // by path
+	routes         map[string]*Route
+	allocations    map[string]Allocation
+	readyEndpoints map[string]int
+	specificities  []int // that routes have, the most specific first
+	buckets        map[uint64]*bucket
 }
 
 // What a match names, by account.Match.Rank: the rank of one that names more, or the
@@ -62,19 +62,19 @@
 )
 
 // cell holds the routes of one rank that name the same but for their ranges.
-type cell struct {
-	rank  int
-	key   Query  // what they name, all else empty
-	spans []span // by from, apart from each other
-	next  *cell  // of the same hash
+type bucket struct {
+	specificity int
+	key         Query       // what they name, all else empty
+	ranges      []hashRange // by from, apart from each other
+	next        *bucket     // of the same hash
 }
 
 // Compile returns the table of a whole wire.
-func Compile(w Update) (*Table, error) {
-	if !w.Complete {
-		return nil, fmt.Errorf("routes at %d: changes since %d, and there is nothing to change", w.Index, w.BaseIndex)
+func Compile(update Update) (*Table, error) {
+	if !update.Complete {
+		return nil, fmt.Errorf("routes at %d: changes since %d, and there is nothing to change", update.Index, update.BaseIndex)
 	}
-	return (&Table{seed: maphash.MakeSeed()}).build(w)
+	return (&Table{seed: maphash.MakeSeed()}).build(update)
 }
 
 // With returns the table after a change, which has to be one since this table's index. A
@@ -93,152 +93,152 @@
 	return t.build(change)
 }
 
-func (t *Table) build(w Update) (*Table, error) {
-	next := &Table{Index: w.Index, seed: t.seed, ready: t.ready, cells: map[uint64]*cell{},
-		entries: make(map[string]Entry, len(t.entries)+len(w.Set)), steered: map[string]Allocation{}}
-	next.routes = make(map[string]*Route, len(t.entries)+len(w.Set))
+func (t *Table) build(update Update) (*Table, error) {
+	next := &Table{Index: update.Index, seed: t.seed, readyEndpoints: t.readyEndpoints, buckets: map[uint64]*bucket{},
+		entries: make(map[string]Entry, len(t.entries)+len(update.Set)), allocations: map[string]Allocation{}}
+	next.routes = make(map[string]*Route, len(t.entries)+len(update.Set))
 	maps.Copy(next.entries, t.entries)
-	maps.Copy(next.steered, t.steered)
-	if w.ReadyEndpoints != nil {
-		next.ready = w.ReadyEndpoints
+	maps.Copy(next.allocations, t.allocations)
+	if update.ReadyEndpoints != nil {
+		next.readyEndpoints = update.ReadyEndpoints
 	}
-	for _, path := range w.Removed {
+	for _, path := range update.Removed {
 		delete(next.entries, path)
 	}
-	other := map[string]bool{} // routes and contracts that are not as before
-	for _, a := range w.Allocations {
-		other[a.Contract] = true
-		if len(a.Shares) == 0 {
-			delete(next.steered, a.Contract)
+	changed := map[string]bool{} // routes and contracts that are not as before
+	for _, allocation := range update.Allocations {
+		changed[allocation.Contract] = true
+		if len(allocation.Shares) == 0 {
+			delete(next.allocations, allocation.Contract)
 		} else {
-			next.steered[a.Contract] = a
+			next.allocations[allocation.Contract] = allocation
 		}
 	}
-	for _, e := range w.Set {
-		if err := e.check(); err != nil {
+	for _, entry := range update.Set {
+		if err := entry.validate(); err != nil {
 			return nil, err
 		}
-		next.entries[e.Path()] = e
-		other[e.Path()] = true // of a contract that is called so a route is made anew for nothing
+		next.entries[entry.Path()] = entry
+		changed[entry.Path()] = true // of a contract that is called so a route is made anew for nothing
 	}
-	if len(next.entries) > most {
-		return nil, fmt.Errorf("routes: %d, at most %d are taken", len(next.entries), most)
+	if len(next.entries) > maxRoutes {
+		return nil, fmt.Errorf("routes: %d, at most %d are taken", len(next.entries), maxRoutes)
 	}
-	claims := map[*cell][]span{}
+	claims := map[*bucket][]hashRange{}
 	for _, path := range slices.Sorted(maps.Keys(next.entries)) {
-		e := next.entries[path]
-		r := t.routes[path]
-		if r == nil || other[path] || other[e.Contract] || w.ReadyEndpoints != nil {
-			r = next.route(&e)
+		entry := next.entries[path]
+		compiled := t.routes[path]
+		if compiled == nil || changed[path] || changed[entry.Contract] || update.ReadyEndpoints != nil {
+			compiled = next.compileRoute(&entry)
 		}
-		next.routes[path] = r
-		c, s := next.cell(&e), span{route: r}
-		s.from, s.to = edge(e.Match.HashFrom), edge(e.Match.HashTo)
-		if c.rank&byRange == 0 || e.Match.HashTo == 1 {
-			s.to = ^uint64(0) // with the last place of all
+		next.routes[path] = compiled
+		b, candidate := next.bucketFor(&entry), hashRange{route: compiled}
+		candidate.from, candidate.to = hashEdge(entry.Match.HashFrom), hashEdge(entry.Match.HashTo)
+		if b.specificity&byRange == 0 || entry.Match.HashTo == 1 {
+			candidate.to = ^uint64(0) // with the last place of all
 		}
-		claims[c] = append(claims[c], s)
+		claims[b] = append(claims[b], candidate)
 	}
-	for c, spans := range claims {
-		c.spans = apart(spans)
-		if !slices.Contains(next.ranks, c.rank) {
-			next.ranks = append(next.ranks, c.rank)
+	for b, ranges := range claims {
+		b.ranges = splitOverlaps(ranges)
+		if !slices.Contains(next.specificities, b.specificity) {
+			next.specificities = append(next.specificities, b.specificity)
 		}
 	}
-	slices.Sort(next.ranks)
-	slices.Reverse(next.ranks)
+	slices.Sort(next.specificities)
+	slices.Reverse(next.specificities)
 	return next, nil
 }
 
 // edge returns the place that a share of all places begins or ends at.
-func edge(share float64) uint64 { return uint64(share*(1<<53)) << 11 }
+func hashEdge(share float64) uint64 { return uint64(share*(1<<53)) << 11 }
 
 // cell returns the cell of a route's match, made if there is none.
-func (t *Table) cell(e *Entry) *cell {
-	m := &e.Match
-	q := Query{Class: m.Class, Tenant: m.Tenant, Group: m.Group}
-	q.Returning = m.Returning != nil && *m.Returning
-	q.Retry = m.Retry != nil && *m.Retry
-	rank := m.Specificity()
-	h := t.hash(&q).of(rank, &q)
-	for c := t.cells[h]; c != nil; c = c.next {
-		if c.rank == rank && c.names(&q) {
-			return c
+func (t *Table) bucketFor(entry *Entry) *bucket {
+	match := &entry.Match
+	query := Query{Class: match.Class, Tenant: match.Tenant, Group: match.Group}
+	query.Returning = match.Returning != nil && *match.Returning
+	query.Retry = match.Retry != nil && *match.Retry
+	specificity := match.Specificity()
+	hash := t.hashQuery(&query).combine(specificity, &query)
+	for b := t.buckets[hash]; b != nil; b = b.next {
+		if b.specificity == specificity && b.matches(&query) {
+			return b
 		}
 	}
-	t.cells[h] = &cell{rank: rank, key: q, next: t.cells[h]}
-	return t.cells[h]
+	t.buckets[hash] = &bucket{specificity: specificity, key: query, next: t.buckets[hash]}
+	return t.buckets[hash]
 }
 
-func (t *Table) route(e *Entry) *Route {
-	r := &Route{Path: e.Path(), Contract: e.Contract}
-	var steered *Allocation
-	if a, ok := t.steered[e.Contract]; ok && e.Contract != "" {
-		steered, r.RejectedShare = &a, a.RejectedShare
+func (t *Table) compileRoute(entry *Entry) *Route {
+	compiled := &Route{Path: entry.Path(), Contract: entry.Contract}
+	var allocation *Allocation
+	if found, ok := t.allocations[entry.Contract]; ok && entry.Contract != "" {
+		allocation, compiled.RejectedShare = &found, found.RejectedShare
 	}
-	r.Bound = resolve(e, steered, t.ready)
-	for i, letter := range e.Owner {
+	compiled.Bound = resolveBound(entry, allocation, t.readyEndpoints)
+	for i, letter := range entry.Owner {
 		if letter == '/' {
-			r.Levels = append(r.Levels, e.Owner[:i])
+			compiled.Levels = append(compiled.Levels, entry.Owner[:i])
 		}
 	}
-	r.Levels = append(r.Levels, e.Owner, r.Path)
-	r.Account, _, _ = strings.Cut(e.Owner, "/")
-	return r
+	compiled.Levels = append(compiled.Levels, entry.Owner, compiled.Path)
+	compiled.Account, _, _ = strings.Cut(entry.Owner, "/")
+	return compiled
 }
 
 // hashes are those of what a transaction shows.
-type hashes struct{ class, tenant, group uint64 }
+type queryHashes struct{ class, tenant, group uint64 }
 
-func (t *Table) hash(q *Query) hashes {
-	return hashes{maphash.String(t.seed, q.Class), maphash.String(t.seed, q.Tenant), maphash.String(t.seed, q.Group)}
+func (t *Table) hashQuery(query *Query) queryHashes {
+	return queryHashes{maphash.String(t.seed, query.Class), maphash.String(t.seed, query.Tenant), maphash.String(t.seed, query.Group)}
 }
 
 // of puts together those that a rank names.
-func (h hashes) of(rank int, q *Query) uint64 {
-	x := uint64(rank)
-	if rank&byClass != 0 {
+func (h queryHashes) combine(specificity int, query *Query) uint64 {
+	x := uint64(specificity)
+	if specificity&byClass != 0 {
 		x = bits.RotateLeft64(x*0x9e3779b97f4a7c15, 29) ^ h.class
 	}
-	if rank&byTenant != 0 {
+	if specificity&byTenant != 0 {
 		x = bits.RotateLeft64(x*0x9e3779b97f4a7c15, 29) ^ h.tenant
 	}
-	if rank&byGroup != 0 {
+	if specificity&byGroup != 0 {
 		x = bits.RotateLeft64(x*0x9e3779b97f4a7c15, 29) ^ h.group
 	}
-	if rank&byReturned != 0 && q.Returning {
+	if specificity&byReturned != 0 && query.Returning {
 		x += 0xff51afd7ed558ccd
 	}
-	if rank&byRetry != 0 && q.Retry {
+	if specificity&byRetry != 0 && query.Retry {
 		x += 0xc4ceb9fe1a85ec53
 	}
 	return x
 }
 
 // names tells whether a transaction shows what the cell's routes name.
-func (c *cell) names(q *Query) bool {
-	return (c.rank&byClass == 0 || c.key.Class == q.Class) && (c.rank&byTenant == 0 || c.key.Tenant == q.Tenant) &&
-		(c.rank&byGroup == 0 || c.key.Group == q.Group) && (c.rank&byReturned == 0 || c.key.Returning == q.Returning) &&
-		(c.rank&byRetry == 0 || c.key.Retry == q.Retry)
+func (b *bucket) matches(query *Query) bool {
+	return (b.specificity&byClass == 0 || b.key.Class == query.Class) && (b.specificity&byTenant == 0 || b.key.Tenant == query.Tenant) &&
+		(b.specificity&byGroup == 0 || b.key.Group == query.Group) && (b.specificity&byReturned == 0 || b.key.Returning == query.Returning) &&
+		(b.specificity&byRetry == 0 || b.key.Retry == query.Retry)
 }
 
 // Find returns the route of a transaction, nil if none takes it. Among those that do, the
 // one that names the most specific counts, in this order: class, tenant, one group, a range
 // of groups, returned, retry; of two that name the same, which a checked record has not, the
 // one with the lower path.
-func (t *Table) Find(q Query) *Route {
-	if t == nil || len(t.ranks) == 0 {
+func (t *Table) Find(query Query) *Route {
+	if t == nil || len(t.specificities) == 0 {
 		return nil
 	}
-	h := t.hash(&q)
-	for _, rank := range t.ranks {
-		if rank&(byGroup|byRange) != 0 && q.Group == "" {
+	hashes := t.hashQuery(&query)
+	for _, specificity := range t.specificities {
+		if specificity&(byGroup|byRange) != 0 && query.Group == "" {
 			continue
 		}
-		for c := t.cells[h.of(rank, &q)]; c != nil; c = c.next {
-			if c.rank == rank && c.names(&q) {
-				if r := c.at(q.GroupHash); r != nil {
-					return r
+		for b := t.buckets[hashes.combine(specificity, &query)]; b != nil; b = b.next {
+			if b.specificity == specificity && b.matches(&query) {
+				if route := b.lookup(query.GroupHash); route != nil {
+					return route
 				}
 			}
 		}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -11,29 +11,29 @@
 )
 
 // entries draws routes that may tie, so that more than a checked record holds is tried.
-func entries(t *rapid.T, label string) (w Update) {
-	word := rapid.SampledFrom([]string{"", "a", "b"})
-	mark := rapid.SampledFrom([]*bool{nil, new(bool), func() *bool { b := true; return &b }()})
+func drawUpdate(t *rapid.T, label string) (update Update) {
+	words := rapid.SampledFrom([]string{"", "a", "b"})
+	flags := rapid.SampledFrom([]*bool{nil, new(bool), func() *bool { b := true; return &b }()})
 	for i, n := 0, rapid.IntRange(0, 30).Draw(t, label); i < n; i++ {
-		e := Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
-		e.Match = account.Match{Class: word.Draw(t, "class"), Tenant: word.Draw(t, "tenant"), Group: word.Draw(t, "group"),
-			Returning: mark.Draw(t, "returned"), Retry: mark.Draw(t, "retry")}
-		if e.Match.Group == "" && rapid.Bool().Draw(t, "ranged") {
+		entry := Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
+		entry.Match = account.Match{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
+			Returning: flags.Draw(t, "returned"), Retry: flags.Draw(t, "retry")}
+		if entry.Match.Group == "" && rapid.Bool().Draw(t, "ranged") {
 			from := rapid.IntRange(0, 7).Draw(t, "from")
-			e.Match.HashFrom, e.Match.HashTo = float64(from)/8, float64(rapid.IntRange(from+1, 8).Draw(t, "to"))/8
+			entry.Match.HashFrom, entry.Match.HashTo = float64(from)/8, float64(rapid.IntRange(from+1, 8).Draw(t, "to"))/8
 		}
-		w.Set = append(w.Set, e)
+		update.Set = append(update.Set, entry)
 	}
 	for _, c := range []string{"c1", "c2"} {
 		if rapid.Bool().Draw(t, "steered") {
-			w.Allocations = append(w.Allocations, Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
+			update.Allocations = append(update.Allocations, Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
 		}
 	}
-	w.Complete = true
-	return w
+	update.Complete = true
+	return update
 }
 
-func takes(m account.Match, q Query) bool {
+func matches(m account.Match, q Query) bool {
 	place := float64(q.GroupHash) / (1 << 64)
 	return (m.Class == "" || m.Class == q.Class) && (m.Tenant == "" || m.Tenant == q.Tenant) && (m.Group == "" || m.Group == q.Group) &&
 		(m.Returning == nil || *m.Returning == q.Returning) && (m.Retry == nil || *m.Retry == q.Retry) &&
@@ -44,7 +44,7 @@
 // changes.
 func TestFindsTheMostSpecific(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		before, after := entries(t, "before"), entries(t, "after")
+		before, after := drawUpdate(t, "before"), drawUpdate(t, "after")
 		before.Index, after.Index = 4, 9
 		table, err := Compile(before)
 		if err != nil {
@@ -54,56 +54,56 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		whole, err := Compile(after)
+		compiled, err := Compile(after)
 		if err != nil {
 			t.Fatal(err)
 		}
-		word := rapid.SampledFrom([]string{"", "a", "b", "c"})
+		words := rapid.SampledFrom([]string{"", "a", "b", "c"})
 		for range 50 {
-			q := Query{Class: word.Draw(t, "class"), Tenant: word.Draw(t, "tenant"), Group: word.Draw(t, "group"),
+			query := Query{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
 				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returning: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
 			var want *Entry
 			for i := range after.Set {
-				if e := &after.Set[i]; takes(e.Match, q) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
+				if e := &after.Set[i]; matches(e.Match, query) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
 					want = e
 				}
 			}
-			for _, table := range []*Table{changed, whole} {
-				got := table.Find(q)
+			for _, table := range []*Table{changed, compiled} {
+				got := table.Find(query)
 				if (got == nil) != (want == nil) || got != nil && got.Path != want.Path() {
-					t.Fatalf("%+v: found %+v, want %+v", q, got, want)
+					t.Fatalf("%+v: found %+v, want %+v", query, got, want)
 				}
-				if got != nil && fmt.Sprint(got.Bound) != fmt.Sprint(whole.Find(q).Bound) {
-					t.Fatalf("%+v: bound to %+v, want %+v", q, got.Bound, whole.Find(q).Bound)
+				if got != nil && fmt.Sprint(got.Bound) != fmt.Sprint(compiled.Find(query).Bound) {
+					t.Fatalf("%+v: bound to %+v, want %+v", query, got.Bound, compiled.Find(query).Bound)
 				}
 			}
 		}
 	})
 }
 
-func TestBadWires(t *testing.T) {
+func TestRejectsInvalidUpdates(t *testing.T) {
 	good, err := Compile(Update{Index: 3, Complete: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for want, w := range map[string]Update{
+	for want, update := range map[string]Update{
 		"nothing to change":  {Index: 4, BaseIndex: 3},
 		"changes from 2":     {Index: 4, BaseIndex: 2},
 		"changes from 3 to":  {Index: 2, BaseIndex: 3},
 		"no name":            {Index: 4, BaseIndex: 3, Set: []Entry{{Owner: "acme"}}},
 		`"acme:r": range 1 `: {Complete: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
 	} {
-		_, err := good.Apply(w)
+		_, err := good.Apply(update)
 		if want == "nothing to change" {
-			_, err = Compile(w)
+			_, err = Compile(update)
 		}
 		if err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%+v: %v, want %q in it", w, err, want)
+			t.Errorf("%+v: %v, want %q in it", update, err, want)
 		}
 	}
 }
 
-func TestLevelsOfARoute(t *testing.T) {
+func TestRouteCountsOnEveryLevelAboveIt(t *testing.T) {
 	table, err := Compile(Update{Complete: true, Set: []Entry{{Owner: "acme/web/eu", Name: "all"}}})
 	if err != nil {
 		t.Fatal(err)
@@ -114,11 +114,11 @@
 	}
 }
 
-var found *Route
+var benchmarkResult *Route
 
 // Ranges of matches are in the record, and nodes of other versions find the same routes by
 // them. The places were printed by the code of commit 011f0a6.
-func TestGroupsKeepTheirPlaces(t *testing.T) {
+func TestGroupHashesStayTheSameAcrossVersions(t *testing.T) {
 	for group, want := range map[string]uint64{"": 0xecba3df2c3383c52, "a": 0xed8170de1919a24d,
 		"room-17": 0xe25596f4b16e46ef, "grüße": 0x897f0658eac118b5} {
 		if got := Hash(group); got != want {
@@ -127,40 +127,40 @@
 	}
 }
 
-func BenchmarkFind(bm *testing.B) {
+func BenchmarkFind(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		w := Update{Complete: true}
-		var asked []Query
+		update := Update{Complete: true}
+		var queries []Query
 		for i := range n {
-			e := Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
-			e.Match.Tenant = fmt.Sprintf("tenant%d.example", i/5)
-			q := Query{Class: "feed", Tenant: e.Match.Tenant, Group: fmt.Sprint("group", i)}
+			entry := Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
+			entry.Match.Tenant = fmt.Sprintf("tenant%d.example", i/5)
+			query := Query{Class: "feed", Tenant: entry.Match.Tenant, Group: fmt.Sprint("group", i)}
 			switch i % 5 { // of five routes of a tenant, each is of another rank
 			case 0:
-				e.Match.Class = "feed"
-				e.Match.Group = q.Group
+				entry.Match.Class = "feed"
+				entry.Match.Group = query.Group
 			case 1:
-				e.Match.Class = "feed"
-				e.Match.HashFrom, e.Match.HashTo = 0, 1
+				entry.Match.Class = "feed"
+				entry.Match.HashFrom, entry.Match.HashTo = 0, 1
 			case 2:
-				e.Match.Group = q.Group
+				entry.Match.Group = query.Group
 			case 3:
 				yes := true
-				e.Match.Retry = &yes
+				entry.Match.Retry = &yes
 			}
-			q.GroupHash = Hash(q.Group)
-			w.Set, asked = append(w.Set, e), append(asked, q)
+			query.GroupHash = Hash(query.Group)
+			update.Set, queries = append(update.Set, entry), append(queries, query)
 		}
-		asked = append(asked, Query{Class: "other", Tenant: "nobody", Group: "none"})
-		table, err := Compile(w)
+		queries = append(queries, Query{Class: "other", Tenant: "nobody", Group: "none"})
+		table, err := Compile(update)
 		if err != nil {
-			bm.Fatal(err)
+			b.Fatal(err)
 		}
-		bm.Run(fmt.Sprint(n, "routes"), func(bm *testing.B) {
-			bm.ReportAllocs()
+		b.Run(fmt.Sprint(n, "routes"), func(b *testing.B) {
+			b.ReportAllocs()
 			i := 0
-			for bm.Loop() {
-				found = table.Find(asked[i%len(asked)])
+			for b.Loop() {
+				benchmarkResult = table.Find(queries[i%len(queries)])
 				i++
 			}
 		})
--- a/internal/route/wire.go
+++ b/internal/route/wire.go
@@ -46,50 +46,50 @@
 }
 
 // most bounds a table: as many routes as an account room keeps, and more.
-const most = 1 << 16
+const maxRoutes = 1 << 16
 
-func (e *Entry) check() error {
-	m := &e.Match
+func (e *Entry) validate() error {
+	match := &e.Match
 	switch {
 	case e.Name == "" || e.Owner == "":
 		return fmt.Errorf("route %.80q: no name or no owner", e.Path())
-	case (m.HashFrom != 0 || m.HashTo != 0) && !(m.HashFrom >= 0 && m.HashFrom < m.HashTo && m.HashTo <= 1):
-		return fmt.Errorf("route %.80q: range %v to %v: want 0 <= from < to <= 1", e.Path(), m.HashFrom, m.HashTo)
+	case (match.HashFrom != 0 || match.HashTo != 0) && !(match.HashFrom >= 0 && match.HashFrom < match.HashTo && match.HashTo <= 1):
+		return fmt.Errorf("route %.80q: range %v to %v: want 0 <= from < to <= 1", e.Path(), match.HashFrom, match.HashTo)
 	}
 	return nil
 }
 
 // Diff returns what has to be told of after to who has before; both are whole.
 func Diff(before, after Update) Update {
-	w := Update{Index: after.Index, BaseIndex: before.Index}
-	was := map[string]*Entry{}
+	update := Update{Index: after.Index, BaseIndex: before.Index}
+	previous := map[string]*Entry{}
 	for i := range before.Set {
-		was[before.Set[i].Path()] = &before.Set[i]
+		previous[before.Set[i].Path()] = &before.Set[i]
 	}
-	for _, e := range after.Set {
-		if old := was[e.Path()]; old == nil || !reflect.DeepEqual(*old, e) {
-			w.Set = append(w.Set, e)
+	for _, entry := range after.Set {
+		if old := previous[entry.Path()]; old == nil || !reflect.DeepEqual(*old, entry) {
+			update.Set = append(update.Set, entry)
 		}
-		delete(was, e.Path())
+		delete(previous, entry.Path())
 	}
-	w.Removed = slices.Sorted(maps.Keys(was))
-	steered := map[string]Allocation{}
-	for _, a := range before.Allocations {
-		steered[a.Contract] = a
+	update.Removed = slices.Sorted(maps.Keys(previous))
+	previousAllocations := map[string]Allocation{}
+	for _, allocation := range before.Allocations {
+		previousAllocations[allocation.Contract] = allocation
 	}
-	for _, a := range after.Allocations {
-		if old, ok := steered[a.Contract]; !ok || old.RejectedShare != a.RejectedShare || !maps.Equal(old.Shares, a.Shares) {
-			w.Allocations = append(w.Allocations, a)
+	for _, allocation := range after.Allocations {
+		if old, ok := previousAllocations[allocation.Contract]; !ok || old.RejectedShare != allocation.RejectedShare || !maps.Equal(old.Shares, allocation.Shares) {
+			update.Allocations = append(update.Allocations, allocation)
 		}
-		delete(steered, a.Contract)
+		delete(previousAllocations, allocation.Contract)
 	}
-	for _, name := range slices.Sorted(maps.Keys(steered)) {
-		w.Allocations = append(w.Allocations, Allocation{Contract: name})
+	for _, name := range slices.Sorted(maps.Keys(previousAllocations)) {
+		update.Allocations = append(update.Allocations, Allocation{Contract: name})
 	}
 	if !maps.Equal(before.ReadyEndpoints, after.ReadyEndpoints) {
-		if w.ReadyEndpoints = after.ReadyEndpoints; w.ReadyEndpoints == nil {
-			w.ReadyEndpoints = map[string]int{}
+		if update.ReadyEndpoints = after.ReadyEndpoints; update.ReadyEndpoints == nil {
+			update.ReadyEndpoints = map[string]int{}
 		}
 	}
-	return w
+	return update
 }
