--- a/cmd/coralrelay/command_test.go
+++ b/cmd/coralrelay/command_test.go
@@ -22,7 +22,7 @@
 		t.Run(tt.args, func(t *testing.T) {
 			var out strings.Builder
 			served := ""
-			err := command(strings.Fields(tt.args), &out, func(file string) error { served = max(file, "-"); return nil })
+			err := runCommand(strings.Fields(tt.args), &out, func(file string) error { served = max(file, "-"); return nil })
 			if (err != nil) != (tt.fails != "") || err != nil && !strings.Contains(err.Error(), tt.fails) {
 				t.Errorf("error %v, want one with %q", err, tt.fails)
 			}
--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -10,49 +10,49 @@
 
 const (
 	// leastSockets are the line path's, whatever is taken for others.
-	leastSockets = 64
+	minClientSockets = 64
 	// processDescriptors are open whoever comes: the three of every process, the runtime's
 	// two, the clients' listener, the watch of discovery and the one that it replaces, a
 	// file that is read again, and two whose branch has just ended.
-	processDescriptors = 11
+	baseDescriptors = 11
 	// besideDescriptors are a process's that may have another beside it: its place, where
 	// it takes connections, who gives them, and whom it gives them to.
-	besideDescriptors = 4
+	siblingDescriptors = 4
 	// fleetDescriptors are for the link to the agent, and the one that it replaces.
-	fleetDescriptors = 2
+	agentDescriptors = 2
 )
 
 // descriptors shares out what a process may hold. Discovery, operators and one kept probe
 // connection to each listed next hop have theirs however many callers there are.
-type descriptors struct {
-	all   int
+type descriptorBudget struct {
+	total int
 	fixed int // of all, for what does not grow with the list
 }
 
 // shareOut counts the descriptors of the parts that are switched on.
-func shareOut(c config.Config, own operatorconfig.File, place *instancelock.Lock) descriptors {
-	d := descriptors{all: c.Limits.Sockets, fixed: processDescriptors}
-	if own.UDP.Listen != "" {
-		d.all = max(d.all-own.UDP.Sockets, leastSockets)
+func newDescriptorBudget(cfg config.Config, operatorFile operatorconfig.File, lock *instancelock.Lock) descriptorBudget {
+	budget := descriptorBudget{total: cfg.Limits.Sockets, fixed: baseDescriptors}
+	if operatorFile.UDP.Listen != "" {
+		budget.total = max(budget.total-operatorFile.UDP.Sockets, minClientSockets)
 	}
-	if c.AdminAddr != "" { // a listener, and one that waits for its turn
-		d.fixed += admin.MaxCalls + 2
+	if cfg.AdminAddr != "" { // a listener, and one that waits for its turn
+		budget.fixed += admin.MaxCalls + 2
 	}
-	if place != nil {
-		d.fixed += besideDescriptors
+	if lock != nil {
+		budget.fixed += siblingDescriptors
 	}
-	if own.Fleet.Agent != "" {
-		d.fixed += fleetDescriptors
+	if operatorFile.Fleet.Agent != "" {
+		budget.fixed += agentDescriptors
 	}
-	if own.Resume.Enabled { // a file, a listener, and a connection from and to each peer
-		d.fixed += 2 + 2*len(own.Resume.ReplayGuard.Peers)
+	if operatorFile.Resume.Enabled { // a file, a listener, and a connection from and to each peer
+		budget.fixed += 2 + 2*len(operatorFile.Resume.ReplayGuard.Peers)
 	}
-	return d
+	return budget
 }
 
 // callers is what is left for callers and their branches while so many next hops are
 // listed; a quarter is theirs whatever the list says.
-func (d descriptors) callers(listed int) int {
-	left := max(d.all-d.fixed-listed, d.all/4)
-	return left - downstream.LingeringSockets(left*16/17)
+func (d descriptorBudget) forClients(endpoints int) int {
+	remaining := max(d.total-d.fixed-endpoints, d.total/4)
+	return remaining - downstream.LingeringSockets(remaining*16/17)
 }
--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -174,7 +174,7 @@
 	}
 	accepted := func(what, addr string, inherited int) [2]net.Conn {
 		t.Helper()
-		l, err := clientsListener(config.Config{Listen: addr, InheritedFD: inherited})
+		l, err := openClientListener(config.Config{Listen: addr, InheritedFD: inherited})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/coralrelay/listener.go
+++ b/cmd/coralrelay/listener.go
@@ -16,37 +16,37 @@
 
 // acceptWithin is how long an accept may look for the client that it was called for: a
 // process that holds the same socket may have taken it.
-const acceptWithin = time.Millisecond
+const acceptTimeout = time.Millisecond
 
 // clientsListener opens the clients' listener, or takes the one that the platform holds.
-func clientsListener(c config.Config) (net.Listener, error) {
-	if c.InheritedFD == 0 {
-		l, err := net.Listen("tcp", c.Listen)
+func openClientListener(cfg config.Config) (net.Listener, error) {
+	if cfg.InheritedFD == 0 {
+		listener, err := net.Listen("tcp", cfg.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
-		return l, nil
+		return listener, nil
 	}
-	syscall.CloseOnExec(c.InheritedFD)
-	file := os.NewFile(uintptr(c.InheritedFD), "inherited")
+	syscall.CloseOnExec(cfg.InheritedFD)
+	file := os.NewFile(uintptr(cfg.InheritedFD), "inherited")
 	if file == nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", c.InheritedFD)
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: %d is no descriptor", cfg.InheritedFD)
 	}
 	defer file.Close() // the listener has a copy of its own
-	l, err := net.FileListener(file)
+	listener, err := net.FileListener(file)
 	if err != nil {
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", c.InheritedFD, err)
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening socket: %w", cfg.InheritedFD, err)
 	}
-	if !listens(l) {
-		_ = l.Close()
-		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", c.InheritedFD)
+	if !isListening(listener) {
+		_ = listener.Close()
+		return nil, fmt.Errorf("BALANCER_INHERITED_FD: descriptor %d is no listening TCP socket", cfg.InheritedFD)
 	}
-	return newInherited(l.(*net.TCPListener))
+	return newInheritedListener(listener.(*net.TCPListener))
 }
 
 // listens tells whether l takes TCP connections. A connected socket passes for a
 // listener until its first Accept.
-func listens(l net.Listener) (yes bool) {
+func isListening(l net.Listener) (listening bool) {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
 		return false
@@ -56,10 +56,10 @@
 		return false
 	}
 	_ = raw.Control(func(fd uintptr) {
-		v, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
-		yes = err == nil && v == 1
+		accepts, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN)
+		listening = err == nil && accepts == 1
 	})
-	return yes
+	return listening
 }
 
 // inherited is a listener whose socket other processes hold too. Whether an accept blocks
@@ -67,52 +67,52 @@
 // with the socket: an accept that began just then would wait in the kernel for the next
 // client, and until then the listener's end would wait for it, and with that all that
 // stands. So it is called for a client that is there, right after the flag was set.
-type inherited struct {
+type inheritedListener struct {
 	*net.TCPListener
-	look   *os.File // the same socket, to wait on
-	raw    syscall.RawConn
-	closed atomic.Bool
+	pollFile *os.File // the same socket, to wait on
+	pollConn syscall.RawConn
+	closed   atomic.Bool
 }
 
-func newInherited(l *net.TCPListener) (*inherited, error) {
-	look, err := copied(l)
+func newInheritedListener(l *net.TCPListener) (*inheritedListener, error) {
+	pollFile, err := duplicateDescriptor(l)
 	if err == nil {
-		in := &inherited{TCPListener: l, look: look}
-		if in.raw, err = look.SyscallConn(); err == nil {
-			return in, nil
+		inherited := &inheritedListener{TCPListener: l, pollFile: pollFile}
+		if inherited.pollConn, err = pollFile.SyscallConn(); err == nil {
+			return inherited, nil
 		}
-		_ = look.Close()
+		_ = pollFile.Close()
 	}
 	_ = l.Close()
 	return nil, fmt.Errorf("BALANCER_INHERITED_FD: %w", err)
 }
 
 // copied returns a descriptor of l's that can be waited on.
-func copied(l *net.TCPListener) (file *os.File, err error) {
+func duplicateDescriptor(l *net.TCPListener) (file *os.File, err error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	inner := raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		n := 0
 		if n, err = unix.FcntlInt(fd, unix.F_DUPFD_CLOEXEC, 0); err == nil {
 			_ = unix.SetNonblock(n, true) // else nobody could wait on it
 			file = os.NewFile(uintptr(n), "clients")
 		}
 	})
-	return file, errors.Join(inner, err)
+	return file, errors.Join(controlErr, err)
 }
 
 // Accept implements net.Listener.
-func (l *inherited) Accept() (net.Conn, error) {
+func (l *inheritedListener) Accept() (net.Conn, error) {
 	for {
-		switch err := l.raw.Read(there); {
+		switch err := l.pollConn.Read(prepareAccept); {
 		case l.closed.Load():
 			return nil, net.ErrClosed
 		case err != nil:
 			return nil, err
 		}
-		if err := l.SetDeadline(time.Now().Add(acceptWithin)); err != nil {
+		if err := l.SetDeadline(time.Now().Add(acceptTimeout)); err != nil {
 			return nil, err
 		}
 		if conn, err := l.TCPListener.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -122,9 +122,9 @@
 }
 
 // there tells whether a client waits, and has an accept not block.
-func there(fd uintptr) bool {
-	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	if err == nil && n == 0 {
+func prepareAccept(fd uintptr) bool {
+	ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	if err == nil && ready == 0 {
 		return false
 	}
 	_ = unix.SetNonblock(int(fd), true)
@@ -132,7 +132,7 @@
 }
 
 // Close implements net.Listener.
-func (l *inherited) Close() error {
+func (l *inheritedListener) Close() error {
 	l.closed.Store(true)
-	return errors.Join(l.look.Close(), l.TCPListener.Close())
+	return errors.Join(l.pollFile.Close(), l.TCPListener.Close())
 }
--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -13,17 +13,17 @@
 )
 
 // fleet passes a list on: first the addresses, then the decision.
-type fleet struct {
-	hops  *upstream.Pool
-	core  *dispatch.EventLoop
-	udp   udp.Listeners // nil where it is off
-	known chan struct{} // closed once discovery has said who is there
-	once  sync.Once
+type endpointUpdater struct {
+	pool              *upstream.Pool
+	eventLoop         *dispatch.EventLoop
+	udpListeners      udp.Listeners // nil where it is off
+	firstListReceived chan struct{} // closed once discovery has said who is there
+	firstListOnce     sync.Once
 	// listed is told how many next hops are listed, before any of them is asked for.
-	listed func(n int)
+	onEndpointCount func(n int)
 }
 
-func (f *fleet) UpdateEndpoints(u discovery.Update) {
+func (f *endpointUpdater) UpdateEndpoints(u discovery.Update) {
 	if mutation.Enabled("drain") {
 		for i := range u.Endpoints {
 			if u.Endpoints[i].State == balance.Draining {
@@ -32,14 +32,14 @@
 		}
 	}
 	if u.Kind != balance.ListFailed {
-		f.hops.Update(u.Kind != balance.ListDelta, u.Endpoints, time.Now())
-		f.listed(f.hops.EndpointCount())
+		f.pool.Update(u.Kind != balance.ListDelta, u.Endpoints, time.Now())
+		f.onEndpointCount(f.pool.EndpointCount())
 	}
-	f.core.UpdateEndpoints(u.ListUpdate())
+	f.eventLoop.UpdateEndpoints(u.ListUpdate())
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
-		f.once.Do(func() { close(f.known) })
+		f.firstListOnce.Do(func() { close(f.firstListReceived) })
 	}
-	if f.udp != nil {
-		f.udp.Look()
+	if f.udpListeners != nil {
+		f.udpListeners.Look()
 	}
 }
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -41,35 +41,35 @@
 	// Never given back: another one in the last moment would cut the end in good order short.
 	terminate, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	logging.Setup(os.Stderr, false)
-	if err := command(os.Args[1:], os.Stdout, func(file string) error { return start(terminate, hangUps, file) }); err != nil {
+	if err := runCommand(os.Args[1:], os.Stdout, func(file string) error { return loadAndServe(terminate, hangUps, file) }); err != nil {
 		slog.Error("coralrelay", "err", err)
 		os.Exit(1)
 	}
 }
 
-const about = `One node of a load balancer for connections that live from seconds to minutes.
+const description = `One node of a load balancer for connections that live from seconds to minutes.
 
 The platform tells a node what it needs in the JSON file that $BALANCER_CONFIG names; $BALANCER_NAME,
 $BALANCER_LISTEN and $BALANCER_DISCOVERY win over the file. SIGHUP reads both files again, SIGTERM
 moves the connections and ends. README.md has the keys.`
 
 // start reads the files and serves. file is the operator's own, empty for none.
-func start(terminate context.Context, hangUps <-chan os.Signal, file string) error {
-	own := operatorconfig.Default()
-	if file != "" {
+func loadAndServe(terminate context.Context, hangUps <-chan os.Signal, operatorPath string) error {
+	operatorFile := operatorconfig.Default()
+	if operatorPath != "" {
 		var err error
-		if own, err = operatorconfig.Load(file); err != nil {
+		if operatorFile, err = operatorconfig.Load(operatorPath); err != nil {
 			return err
 		}
-		logging.Setup(os.Stderr, own.Log.Format == "json")
-		if err := logging.SetLevel(own.Log.Level); err != nil {
+		logging.Setup(os.Stderr, operatorFile.Log.Format == "json")
+		if err := logging.SetLevel(operatorFile.Log.Level); err != nil {
 			return err
 		}
 	}
-	platform, err := config.Load(os.Getenv)
+	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	limit(platform.Limits)
-	return serve(terminate, hangUps, platform, own, file)
+	applyProcessLimits(cfg.Limits)
+	return serve(terminate, hangUps, cfg, operatorFile, operatorPath)
 }
--- a/cmd/coralrelay/plan_test.go
+++ b/cmd/coralrelay/plan_test.go
@@ -10,8 +10,8 @@
 func TestPlanOfARestart(t *testing.T) {
 	const ms = time.Millisecond
 	begun := time.Unix(1, 0)
-	for longest, from := range map[time.Duration]time.Duration{300 * ms: 400 * ms, 400 * ms: 400 * ms, 1800 * ms: 900 * ms, longestDrain: 1500 * ms} {
-		p := ending(begun, longest)
+	for longest, from := range map[time.Duration]time.Duration{300 * ms: 400 * ms, 400 * ms: 400 * ms, 1800 * ms: 900 * ms, maxDrainDeadline: 1500 * ms} {
+		p := newDrainPlan(begun, longest)
 		if got := p.MoveStartAt.Sub(begun); got != from || p.RejectAt != begun {
 			t.Errorf("%v: moves begin after %v, want %v", longest, got, from)
 		}
--- a/cmd/coralrelay/promises.go
+++ b/cmd/coralrelay/promises.go
@@ -10,86 +10,89 @@
 )
 
 // mostDone are the parts of time that wait for the agent to ask: more is too late for it.
-const mostDone = 2
+const maxPendingSamples = 2
 
 // promises counts response times by contract and region, for those who decide where
 // contracts go. What is below now belongs to the Core's goroutine.
-type promises struct {
-	core  *dispatch.EventLoop
-	zones map[string]string // the region of each zone that is in one
-	now   func() time.Duration
+type sloReporter struct {
+	eventLoop    *dispatch.EventLoop
+	regionByZone map[string]string // the region of each zone that is in one
+	now          func() time.Duration
 
-	tally *slo.Recorder
-	at    map[string]string // next hops' regions
-	done  []slo.Sample
-	known uint64 // version of the contracts that count
+	recorder         *slo.Recorder
+	regionByEndpoint map[string]string // next hops' regions
+	pending          []slo.Sample
+	contractsVersion uint64 // version of the contracts that count
 }
 
 // countPromises has the link tell what the node measures, where contracts are kept.
-func countPromises(l *agentapi.Client, f operatorconfig.Fleet, core *dispatch.EventLoop) {
-	if !f.SLO.Enabled {
+func addSLOReporter(client *agentapi.Client, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop) {
+	if !fleet.SLO.Enabled {
 		return
 	}
-	p := &promises{core: core, zones: map[string]string{}, now: func() time.Duration { return f.SLO.Time(time.Duration(time.Now().UnixNano())) },
-		tally: slo.NewRecorder(f.SLO.Config(), f.Name, f.Zone, time.Now().UnixNano())}
-	for region, zones := range f.Zones.Regions {
+	reporter := &sloReporter{eventLoop: eventLoop, regionByZone: map[string]string{}, now: func() time.Duration { return fleet.SLO.Time(time.Duration(time.Now().UnixNano())) },
+		recorder: slo.NewRecorder(fleet.SLO.Config(), fleet.Name, fleet.Zone, time.Now().UnixNano())}
+	for region, zones := range fleet.Zones.Regions {
 		for _, zone := range zones {
-			p.zones[zone] = region
+			reporter.regionByZone[zone] = region
 		}
 	}
-	core.SetAttemptObserver(p.timed)
-	say, take := l.MakeReport, l.HandleResponse
-	l.MakeReport = func() agentapi.Report { s := say(); p.say(&s); return s }
-	l.HandleResponse = func(t agentapi.Response) { take(t); p.take(t.Contracts) }
+	eventLoop.SetAttemptObserver(reporter.recordAttempt)
+	makeReport, handleResponse := client.MakeReport, client.HandleResponse
+	client.MakeReport = func() agentapi.Report { report := makeReport(); reporter.fillReport(&report); return report }
+	client.HandleResponse = func(response agentapi.Response) {
+		handleResponse(response)
+		reporter.applyContracts(response.Contracts)
+	}
 }
 
-func (p *promises) timed(contract, server string, took time.Duration) {
-	if region, ok := p.at[server]; ok {
-		p.over(p.tally.Record(p.now(), contract, region, took))
+func (r *sloReporter) recordAttempt(contract, endpoint string, took time.Duration) {
+	if region, ok := r.regionByEndpoint[endpoint]; ok {
+		r.queueSample(r.recorder.Record(r.now(), contract, region, took))
 	}
 }
 
-func (p *promises) over(s *slo.Sample) {
-	if s == nil {
+func (r *sloReporter) queueSample(sample *slo.Sample) {
+	if sample == nil {
 		return
 	}
-	if len(p.done) == mostDone {
-		p.done = p.done[1:]
+	if len(r.pending) == maxPendingSamples {
+		r.pending = r.pending[1:]
 	}
-	p.done = append(p.done, *s)
+	r.pending = append(r.pending, *sample)
 }
 
 // say tells what was measured in the parts of time that are over.
-func (p *promises) say(s *agentapi.Report) {
-	at := make(map[string]string, len(s.Servers))
-	for _, hop := range s.Servers {
-		if region, ok := p.zones[hop.Zone]; ok {
-			at[hop.ID] = region
-		} else if hop.Zone != "" {
-			at[hop.ID] = hop.Zone
+func (r *sloReporter) fillReport(report *agentapi.Report) {
+	regionByEndpoint := make(map[string]string, len(report.Servers))
+	for _, endpoint := range report.Servers {
+		if region, ok := r.regionByZone[endpoint.Zone]; ok {
+			regionByEndpoint[endpoint.ID] = region
+		} else if endpoint.Zone != "" {
+			regionByEndpoint[endpoint.ID] = endpoint.Zone
 		}
 	}
-	p.core.RunOnLoop(func(time.Duration) {
-		p.at = at
-		p.over(p.tally.Rotate(p.now()))
-		s.Samples, s.ContractsVersion, p.done = p.done, p.known, nil
+	r.eventLoop.RunOnLoop(func(time.Duration) {
+		r.regionByEndpoint = regionByEndpoint
+		r.queueSample(r.recorder.Rotate(r.now()))
+		report.Samples, report.ContractsVersion, r.pending = r.pending, r.contractsVersion, nil
 	})
 }
 
 // take goes by other contracts from now on. Those on messages are not counted: the node
 // passes messages on without knowing which answers which.
-func (p *promises) take(told *agentapi.ContractList) {
-	if told == nil {
+func (r *sloReporter) applyContracts(list *agentapi.ContractList) {
+	if list == nil {
 		return
 	}
-	s := slo.State{Version: told.Version}
-	for _, c := range told.Contracts {
-		if !c.MeasuresMessages {
-			s.Contracts = append(s.Contracts, slo.Contract{Name: c.Name, Priority: c.Priority})
+	contracts := slo.State{Version: list.Version}
+	for _, contract := range list.Contracts {
+		if !contract.MeasuresMessages {
+			contracts.Contracts = append(contracts.Contracts, slo.Contract{Name: contract.Name, Priority: contract.Priority})
 		}
 	}
-	p.core.RunOnLoop(func(time.Duration) {
-		p.tally.SetContracts(s)
-		p.known = told.Version
+	r.eventLoop.RunOnLoop(func(time.Duration) {
+		r.recorder.SetContracts(contracts)
+		r.contractsVersion = list.Version
 	})
 }
--- a/cmd/coralrelay/resume.go
+++ b/cmd/coralrelay/resume.go
@@ -18,68 +18,68 @@
 // resumption is moving with a resume token, where it is switched on; nil where it
 // is not.
 type tokenResumption struct {
-	service  *replayguard.Service
-	sessions resumption.Factory
+	service *replayguard.Service
+	factory resumption.Factory
 }
 
 // startResume starts it, if the operator's file says so.
-func startResume(ctx context.Context, parts *sync.WaitGroup, name string, o operatorconfig.Resume) (*tokenResumption, error) {
-	if !o.Enabled {
+func startTokenResumption(ctx context.Context, goroutines *sync.WaitGroup, name string, options operatorconfig.Resume) (*tokenResumption, error) {
+	if !options.Enabled {
 		return nil, nil
 	}
 	if name == "" {
 		return nil, fmt.Errorf("resume.enabled: the node has no name (BALANCER_NAME)")
 	}
-	terms, err := terms(o)
+	serviceConfig, err := loadServiceConfig(options)
 	if err != nil {
 		return nil, err
 	}
-	l, err := replayguard.Open(replayguard.Options{Dir: o.ReplayGuard.Dir, MaxRecords: o.ReplayGuard.Records, ClockSkew: o.ClockSkew.Duration})
+	guard, err := replayguard.Open(replayguard.Options{Dir: options.ReplayGuard.Dir, MaxRecords: options.ReplayGuard.Records, ClockSkew: options.ClockSkew.Duration})
 	switch {
 	case errors.Is(err, store.ErrLocked): // two nodes with one folder would never do
 		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
 	case err != nil:
 		// A disk that is full or read-only must not keep the node from serving.
 		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
-		l = replayguard.NewUnavailable()
+		guard = replayguard.NewUnavailable()
 	}
-	s := replayguard.NewService(name, l, terms, o.ReplayGuard.Peers)
-	if o.ReplayGuard.Listen != "" {
-		listener, err := net.Listen("tcp", o.ReplayGuard.Listen)
+	service := replayguard.NewService(name, guard, serviceConfig, options.ReplayGuard.Peers)
+	if options.ReplayGuard.Listen != "" {
+		listener, err := net.Listen("tcp", options.ReplayGuard.Listen)
 		if err != nil {
 			return nil, fmt.Errorf("resume.ledger.listen: %w", err)
 		}
-		answers := &replayguard.Server{Name: name, Guard: l, KeyRing: s.KeyRing}
-		parts.Go(func() { _ = answers.Serve(ctx, listener) })
+		server := &replayguard.Server{Name: name, Guard: guard, KeyRing: service.KeyRing}
+		goroutines.Go(func() { _ = server.Serve(ctx, listener) })
 	}
-	parts.Go(func() { l.Run(ctx) })
-	parts.Go(func() { s.Run(ctx) })
-	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", l.ID), "kept", l.RecordCount(), "survives", l.IsDurable, "peers", len(o.ReplayGuard.Peers))
-	return &tokenResumption{service: s, sessions: resumption.Factory{Tokens: s}}, nil
+	goroutines.Go(func() { guard.Run(ctx) })
+	goroutines.Go(func() { service.Run(ctx) })
+	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", guard.ID), "kept", guard.RecordCount(), "survives", guard.IsDurable, "peers", len(options.ReplayGuard.Peers))
+	return &tokenResumption{service: service, factory: resumption.Factory{Tokens: service}}, nil
 }
 
-func terms(o operatorconfig.Resume) (replayguard.ServiceConfig, error) {
-	ring, err := keyfile.Load(o.Keys)
+func loadServiceConfig(options operatorconfig.Resume) (replayguard.ServiceConfig, error) {
+	ring, err := keyfile.Load(options.Keys)
 	if err != nil {
 		return replayguard.ServiceConfig{}, fmt.Errorf("resume.keys: %w", err)
 	}
-	return replayguard.ServiceConfig{KeyRing: ring, TokenLifetime: o.TokenTTL.Duration, ClockSkew: o.ClockSkew.Duration, ArbiterTimeout: o.ArbiterTimeout.Duration}, nil
+	return replayguard.ServiceConfig{KeyRing: ring, TokenLifetime: options.TokenTTL.Duration, ClockSkew: options.ClockSkew.Duration, ArbiterTimeout: options.ArbiterTimeout.Duration}, nil
 }
 
 // change takes other keys and times.
-func (r *tokenResumption) change(o operatorconfig.Resume) error {
-	if r == nil || !o.Enabled {
+func (r *tokenResumption) updateConfig(options operatorconfig.Resume) error {
+	if r == nil || !options.Enabled {
 		return nil
 	}
-	t, err := terms(o)
+	serviceConfig, err := loadServiceConfig(options)
 	if err == nil {
-		r.service.UpdateConfig(t)
+		r.service.UpdateConfig(serviceConfig)
 	}
 	return err
 }
 
 // leave tells that the node is about to end.
-func (r *tokenResumption) leave() {
+func (r *tokenResumption) beginDraining() {
 	if r != nil {
 		r.service.BeginDraining()
 	}
--- a/cmd/coralrelay/retune.go
+++ b/cmd/coralrelay/retune.go
@@ -17,12 +17,12 @@
 )
 
 // live is the platform's configuration that is in force, and who goes by it.
-type live struct {
-	core   *dispatch.EventLoop
-	hops   *upstream.Pool
-	server *downstream.Server
-	watch  *discovery.Watcher
-	book   *metrics.Registry
+type activeConfig struct {
+	eventLoop *dispatch.EventLoop
+	pool      *upstream.Pool
+	server    *downstream.Server
+	watcher   *discovery.Watcher
+	metrics   *metrics.Registry
 
 	mu      sync.Mutex
 	current config.Config
@@ -30,36 +30,36 @@
 
 // take brings a configuration into force with the parts that count and bound by it, under
 // the lock if they are at work.
-func (l *live) take(c config.Config) {
-	names := []string{}
-	for _, class := range c.Settings.Classes {
-		names = append(names, class.Name)
+func (a *activeConfig) apply(cfg config.Config) {
+	classNames := []string{}
+	for _, class := range cfg.Settings.Classes {
+		classNames = append(classNames, class.Name)
 	}
-	l.book.AddClasses(names...) // before anybody is served by them
-	l.hops.SetLimits(hopLimits(c.Settings))
-	l.server.SetRetryAfter(pause(c.Settings.Limits))
-	l.current = c
+	a.metrics.AddClasses(classNames...) // before anybody is served by them
+	a.pool.SetLimits(upstreamLimits(cfg.Settings))
+	a.server.SetRetryAfter(retryAfter(cfg.Settings.Limits))
+	a.current = cfg
 }
 
 // beside is told whether another process places for this node too.
-func (l *live) beside(lives bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.current.Settings.Processes = 1
-	if lives {
-		l.current.Settings.Processes = 2
+func (a *activeConfig) setSiblingAlive(alive bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.current.Settings.Processes = 1
+	if alive {
+		a.current.Settings.Processes = 2
 	}
-	l.core.UpdateSettings(l.current.Settings)
+	a.eventLoop.UpdateSettings(a.current.Settings)
 }
 
 // reload reads the platform's configuration again: all of a file takes force, or none.
-func (l *live) reload() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := l.current
-	next, fixed, err := c.Reload(os.Getenv)
+func (a *activeConfig) reload() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	current := a.current
+	next, fixed, err := current.Reload(os.Getenv)
 	if err != nil {
-		l.book.ConfigsRejected.Add(1)
+		a.metrics.ConfigsRejected.Add(1)
 		slog.Error("reload: the old configuration stays", "err", err)
 		return
 	}
@@ -67,25 +67,25 @@
 		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
 	}
 	next.Settings = platform.ForWatch(next.Settings)
-	next.Settings.Processes = c.Settings.Processes // not the file's to say
-	l.take(next)
-	l.core.UpdateSettings(next.Settings)
-	l.watch.SetAddress(next.Discovery)
-	l.book.ConfigsAccepted.Add(1)
-	slog.Info("reloaded", "discovery", next.Discovery, "was", c.Discovery, "classes", len(next.Settings.Classes))
+	next.Settings.Processes = current.Settings.Processes // not the file's to say
+	a.apply(next)
+	a.eventLoop.UpdateSettings(next.Settings)
+	a.watcher.SetAddress(next.Discovery)
+	a.metrics.ConfigsAccepted.Add(1)
+	slog.Info("reloaded", "discovery", next.Discovery, "was", current.Discovery, "classes", len(next.Settings.Classes))
 }
 
 // longest is the longest deadline of a class.
-func (l *live) longest() (d time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, class := range l.current.Settings.Classes {
-		d = max(d, class.Deadline)
+func (a *activeConfig) longestDeadline() (longest time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, class := range a.current.Settings.Classes {
+		longest = max(longest, class.Deadline)
 	}
-	return d
+	return longest
 }
 
 // hopLimits are the bounds that settings set for what is spent on a next hop.
-func hopLimits(s balance.Settings) upstream.Limits {
-	return upstream.Limits{ConnectTimeout: s.Limits.ConnectTimeout, ProbeTimeout: probeWait, DrainGrace: s.Rules.DrainGrace}
+func upstreamLimits(settings balance.Settings) upstream.Limits {
+	return upstream.Limits{ConnectTimeout: settings.Limits.ConnectTimeout, ProbeTimeout: probeTimeout, DrainGrace: settings.Rules.DrainGrace}
 }
--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -17,184 +17,184 @@
 
 const (
 	// mostUses bounds the paths that the agent is told of in one word: those used most.
-	mostUses = 4000
+	maxReportedPaths = 4000
 	// refusalsEvery is the least time between two log lines on refusals, mostRefusals how
 	// many kinds of them one has.
-	refusalsEvery, mostRefusals = 10 * time.Second, 8
+	rejectionLogInterval, maxLoggedRejections = 10 * time.Second, 8
 )
 
 // routes are the operators' routes and the rights on them, as the agent tells them. It is a
 // decide.Router. What the agent says is taken on the link's goroutine, and set for the Core's.
-type routes struct {
-	core *dispatch.EventLoop
-	half time.Duration // half of an epoch
+type fleetRouter struct {
+	eventLoop *dispatch.EventLoop
+	halfEpoch time.Duration // half of an epoch
 
 	// Of the link's goroutine.
-	gathered agentapi.Reassembler
-	table    *route.Table // nil for none
-	word     int64        // half epoch that the agent was last told of
-	bad      logging.Throttled
+	reassembler       agentapi.Reassembler
+	table             *route.Table // nil for none
+	reportedHalfEpoch int64        // half epoch that the agent was last told of
+	invalidTableLog   logging.Throttled
 
 	// Of the Core's goroutine.
-	inForce *route.Table
-	ledger  *route.Limiter
-	ahead   time.Duration // of the agent's clock over the module's
-	refused bool          // and not logged yet
-	said    time.Time     // when refusals were last logged
-	logged  map[route.Rejection]uint64
+	activeTable           *route.Table
+	limiter               *route.Limiter
+	agentClockOffset      time.Duration // of the agent's clock over the module's
+	hasUnloggedRejections bool          // and not logged yet
+	rejectionsLoggedAt    time.Time     // when refusals were last logged
+	loggedRejections      map[route.Rejection]uint64
 }
 
 // newRoutes returns routes without a table: all goes anywhere.
-func newRoutes(core *dispatch.EventLoop, cfg account.LeaseConfig) (*routes, error) {
-	ledger, err := route.NewLimiter(cfg)
+func newFleetRouter(eventLoop *dispatch.EventLoop, cfg account.LeaseConfig) (*fleetRouter, error) {
+	limiter, err := route.NewLimiter(cfg)
 	if err != nil {
 		return nil, err
 	}
-	return &routes{core: core, half: cfg.Epoch / 2, ledger: ledger, logged: map[route.Rejection]uint64{}}, nil
+	return &fleetRouter{eventLoop: eventLoop, halfEpoch: cfg.Epoch / 2, limiter: limiter, loggedRejections: map[route.Rejection]uint64{}}, nil
 }
 
-func (r *routes) now() time.Duration { return r.core.Now() + r.ahead }
+func (r *fleetRouter) now() time.Duration { return r.eventLoop.Now() + r.agentClockOffset }
 
-func (r *routes) find(q *dispatch.Request) *route.Route {
-	if r.inForce == nil {
+func (r *fleetRouter) find(request *dispatch.Request) *route.Route {
+	if r.activeTable == nil {
 		return nil
 	}
-	query := route.Query{Class: q.Class, Tenant: q.Tenant, Group: q.Group, Returning: q.Returned, Retry: q.Retry}
-	if q.Group != "" {
-		query.GroupHash = route.Hash(q.Group)
+	query := route.Query{Class: request.Class, Tenant: request.Tenant, Group: request.Group, Returning: request.Returned, Retry: request.Retry}
+	if request.Group != "" {
+		query.GroupHash = route.Hash(request.Group)
 	}
-	return r.inForce.Find(query)
+	return r.activeTable.Find(query)
 }
 
 // Admit implements decide.Router.
-func (r *routes) Admit(q *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
-	found := r.find(q)
-	if found == nil {
+func (r *fleetRouter) Admit(request *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
+	matched := r.find(request)
+	if matched == nil {
 		return nil, nil
 	}
-	if ok, over := r.ledger.Admit(r.now(), found, q.Retry); !ok {
-		r.refused = true
+	if ok, over := r.limiter.Admit(r.now(), matched, request.Retry); !ok {
+		r.hasUnloggedRejections = true
 		return nil, &balance.ZoneConstraint{Name: over}
 	}
-	return found, found.Bound
+	return matched, matched.Bound
 }
 
 // Adopt implements decide.Router.
-func (r *routes) Adopt(q *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
-	found := r.find(q)
-	if found == nil {
+func (r *fleetRouter) Adopt(request *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
+	matched := r.find(request)
+	if matched == nil {
 		return nil, nil
 	}
-	r.ledger.ConnectionOpened(found)
-	return found, found.Bound
+	r.limiter.ConnectionOpened(matched)
+	return matched, matched.Bound
 }
 
 // Spent implements decide.Router.
-func (r *routes) AddUsage(on *route.Route, again, probes int) {
-	r.ledger.RecordAttempts(r.now(), on, again, again, probes)
+func (r *fleetRouter) AddUsage(on *route.Route, again, probes int) {
+	r.limiter.RecordAttempts(r.now(), on, again, again, probes)
 }
 
 // Closed implements decide.Router.
-func (r *routes) Release(on *route.Route) { r.ledger.ConnectionClosed(on) }
+func (r *fleetRouter) Release(on *route.Route) { r.limiter.ConnectionClosed(on) }
 
 // say adds to what the agent is told: once in a half epoch what was used.
-func (r *routes) say(s *agentapi.Report) {
+func (r *fleetRouter) fillReport(report *agentapi.Report) {
 	if r.table != nil {
-		s.TableIndex = r.table.Index
-	}
-	r.gathered.FillProgress(s)
-	r.core.RunOnLoop(func(now time.Duration) {
-		if half := int64((now + r.ahead) / r.half); half != r.word && s.LeaseNumber+s.TableIndex > 0 {
-			r.word = half
-			u := r.ledger.Usage(now + r.ahead)
-			s.Usage = &u
+		report.TableIndex = r.table.Index
+	}
+	r.reassembler.FillProgress(report)
+	r.eventLoop.RunOnLoop(func(now time.Duration) {
+		if halfEpoch := int64((now + r.agentClockOffset) / r.halfEpoch); halfEpoch != r.reportedHalfEpoch && report.LeaseNumber+report.TableIndex > 0 {
+			r.reportedHalfEpoch = halfEpoch
+			usage := r.limiter.Usage(now + r.agentClockOffset)
+			report.Usage = &usage
 		}
-		r.logRefusals()
+		r.logRejections()
 	})
-	if s.Usage != nil {
-		bound(s.Usage)
+	if report.Usage != nil {
+		keepMostUsedPaths(report.Usage)
 	}
 }
 
 // bound leaves the paths that are used most, if there are too many.
-func bound(u *account.Usage) {
-	if max(len(u.Used), len(u.UsedBefore), len(u.Demand)) <= mostUses {
+func keepMostUsedPaths(usage *account.Usage) {
+	if max(len(usage.Used), len(usage.UsedBefore), len(usage.Demand)) <= maxReportedPaths {
 		return
 	}
 	weight := func(path string) float64 {
-		return u.UsedBefore[path].Setups + u.Demand[path].Setups + u.Demand[path].Connections
+		return usage.UsedBefore[path].Setups + usage.Demand[path].Setups + usage.Demand[path].Connections
 	}
-	for _, m := range []map[string]account.Amounts{u.Used, u.UsedBefore, u.Demand} {
-		order := slices.SortedFunc(maps.Keys(m), func(a, b string) int {
+	for _, amounts := range []map[string]account.Amounts{usage.Used, usage.UsedBefore, usage.Demand} {
+		order := slices.SortedFunc(maps.Keys(amounts), func(a, b string) int {
 			return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
 		})
-		for _, path := range order[min(mostUses, len(order)):] {
-			delete(m, path)
+		for _, path := range order[min(maxReportedPaths, len(order)):] {
+			delete(amounts, path)
 		}
 	}
 }
 
 // take takes what the agent answers. A table that can't be used leaves the one in force, and
 // is asked for anew, whole.
-func (r *routes) take(t *agentapi.Response) {
-	if w, ok := r.gathered.AddTable(t); ok {
-		r.compile(w)
+func (r *fleetRouter) handleResponse(response *agentapi.Response) {
+	if update, ok := r.reassembler.AddTable(response); ok {
+		r.applyUpdate(update)
 	}
-	rights, ok := r.gathered.AddLease(t)
+	lease, ok := r.reassembler.AddLease(response)
 	if !ok {
 		return
 	}
-	r.core.RunOnLoop(func(now time.Duration) {
-		r.ahead = time.Duration(rights.HalfEpoch+1)*r.half - rights.ExpiresAt
-		r.ledger.SetLease(rights, now+r.ahead)
+	r.eventLoop.RunOnLoop(func(now time.Duration) {
+		r.agentClockOffset = time.Duration(lease.HalfEpoch+1)*r.halfEpoch - lease.ExpiresAt
+		r.limiter.SetLease(lease, now+r.agentClockOffset)
 	})
 }
 
-func (r *routes) compile(w route.Update) {
+func (r *fleetRouter) applyUpdate(update route.Update) {
 	var next *route.Table
 	var err error
-	if r.table == nil || w.Complete {
-		next, err = route.Compile(w)
+	if r.table == nil || update.Complete {
+		next, err = route.Compile(update)
 	} else {
-		next, err = r.table.Apply(w)
+		next, err = r.table.Apply(update)
 	}
 	if r.table = next; err != nil {
 		r.table = nil
-		r.bad.Warn("the fleet's routes can't be used, those before stay", "err", err)
+		r.invalidTableLog.Warn("the fleet's routes can't be used, those before stay", "err", err)
 		return
 	}
-	r.core.RunOnLoop(func(time.Duration) { r.inForce = next })
-	if w.Complete || len(w.Set)+len(w.Removed)+len(w.Allocations) > 0 {
-		slog.Info("routes changed", "set", len(w.Set), "gone", len(w.Removed), "steered", len(w.Allocations), "whole", w.Complete)
+	r.eventLoop.RunOnLoop(func(time.Duration) { r.activeTable = next })
+	if update.Complete || len(update.Set)+len(update.Removed)+len(update.Allocations) > 0 {
+		slog.Info("routes changed", "set", len(update.Set), "gone", len(update.Removed), "steered", len(update.Allocations), "whole", update.Complete)
 	}
 }
 
 // lost is told when the agent can't be reached: what was used is told anew.
-func (r *routes) lost() { r.word = 0 }
+func (r *fleetRouter) agentLost() { r.reportedHalfEpoch = 0 }
 
 // logRefusals says what was refused since it last did, the most of it.
-func (r *routes) logRefusals() {
+func (r *fleetRouter) logRejections() {
 	now := time.Now()
-	if !r.refused || now.Sub(r.said) < refusalsEvery {
+	if !r.hasUnloggedRejections || now.Sub(r.rejectionsLoggedAt) < rejectionLogInterval {
 		return
 	}
-	r.refused = false
-	all := r.ledger.Rejections()
-	fresh := maps.Clone(all)
-	for why, n := range r.logged {
-		if fresh[why] -= n; fresh[why] == 0 {
-			delete(fresh, why)
+	r.hasUnloggedRejections = false
+	total := r.limiter.Rejections()
+	unlogged := maps.Clone(total)
+	for rejection, n := range r.loggedRejections {
+		if unlogged[rejection] -= n; unlogged[rejection] == 0 {
+			delete(unlogged, rejection)
 		}
 	}
-	r.said, r.logged = now, all
-	order := slices.SortedFunc(maps.Keys(fresh), func(a, b route.Rejection) int {
-		return cmp.Or(cmp.Compare(fresh[b], fresh[a]), cmp.Compare(a.Level, b.Level), cmp.Compare(a.Resource, b.Resource))
+	r.rejectionsLoggedAt, r.loggedRejections = now, total
+	order := slices.SortedFunc(maps.Keys(unlogged), func(a, b route.Rejection) int {
+		return cmp.Or(cmp.Compare(unlogged[b], unlogged[a]), cmp.Compare(a.Level, b.Level), cmp.Compare(a.Resource, b.Resource))
 	})
-	for _, why := range order[:min(mostRefusals, len(order))] {
-		slog.Warn("transactions refused: no room on their route", "account", why.Account, "level", why.Level,
-			"limit", why.Resource, "count", fresh[why], "since_start", all[why])
+	for _, rejection := range order[:min(maxLoggedRejections, len(order))] {
+		slog.Warn("transactions refused: no room on their route", "account", rejection.Account, "level", rejection.Level,
+			"limit", rejection.Resource, "count", unlogged[rejection], "since_start", total[rejection])
 	}
-	if more := len(order) - mostRefusals; more > 0 {
-		slog.Warn("transactions refused: no room on their route", "further_kinds", more)
+	if omitted := len(order) - maxLoggedRejections; omitted > 0 {
+		slog.Warn("transactions refused: no room on their route", "further_kinds", omitted)
 	}
 }
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -92,7 +92,7 @@
 			t.Fatal(err)
 		}
 		hops.core = core
-		node, err := newRoutes(core, deal)
+		node, err := newFleetRouter(core, deal)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -101,7 +101,7 @@
 
 		exchange := func() {
 			said := agentapi.Report{QuotaUsage: core.QuotaUsage()}
-			node.say(&said)
+			node.fillReport(&said)
 			raw, err := json.Marshal(said)
 			if err != nil {
 				t.Fatal(err)
@@ -117,7 +117,7 @@
 			if err := json.Unmarshal(raw, &told); err != nil {
 				t.Fatal(err)
 			}
-			node.take(&told)
+			node.handleResponse(&told)
 		}
 		number, standing := 0, []*asker{}
 		open := func(tenant string, n int) string {
--- a/cmd/coralrelay/udp.go
+++ b/cmd/coralrelay/udp.go
@@ -16,37 +16,37 @@
 
 // startUDP starts the front for datagrams, if the operator's file names an address
 // for it; else it returns nil.
-func startUDP(ctx context.Context, parts *sync.WaitGroup, c config.Config, o operatorconfig.UDP, core udp.Dispatcher, hops udp.Endpoints) (udp.Listeners, error) {
-	if o.Listen == "" {
+func startUDP(ctx context.Context, goroutines *sync.WaitGroup, cfg config.Config, options operatorconfig.UDP, eventLoop udp.Dispatcher, pool udp.Endpoints) (udp.Listeners, error) {
+	if options.Listen == "" {
 		return nil, nil
 	}
-	listen, err := netip.ParseAddrPort(o.Listen)
+	listen, err := netip.ParseAddrPort(options.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
-	class := c.Settings.Classes[0]
-	for _, one := range c.Settings.Classes {
-		if one.Name == o.Class {
-			class = one
+	class := cfg.Settings.Classes[0]
+	for _, candidate := range cfg.Settings.Classes {
+		if candidate.Name == options.Class {
+			class = candidate
 		}
 	}
-	if o.Class != "" && class.Name != o.Class {
-		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", o.Class)
+	if options.Class != "" && class.Name != options.Class {
+		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", options.Class)
 	}
-	policy := map[string]flowtable.Policy{"reserve": flowtable.Reserve, "refuse": flowtable.RefuseNew, "idle": flowtable.EvictIdle}[o.Policy]
-	all, err := udp.Open(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: o.Sockets, SharedSockets: o.Mode == "shared", ProxyHeader: o.Proxy,
-		Table: flowtable.Options{Entries: o.Flows, IdleTimeout: o.Idle.Duration, Policy: policy, ReservedShare: o.Reserve,
-			SettledDatagrams: o.Settled, SettledAge: o.After.Duration},
-		Sources:     flowtable.SourceOptions{Slots: o.Sources.Slots, Rate: o.Sources.Rate, Burst: o.Sources.Burst},
-		FlowQueue:   flowtable.QueueLimit{Count: o.Queue.Flow, Bytes: o.Queue.FlowBytes},
-		QueueBudget: flowtable.QueueBudget{Count: o.Queue.All, Bytes: o.Queue.AllBytes},
-		NewFlows:    flowtable.Pacer{Rate: o.New.Rate, Burst: o.New.Burst, NewestFirst: true},
-		Silence:     flowtable.SilenceOptions{After: o.Silence.After.Duration, Datagrams: o.Silence.Datagrams}, Echo: o.Silence.Echo,
-		ReplacedFlows: flowtable.Pacer{Rate: o.Again.Rate, Burst: o.Again.Burst}}, runtime.GOMAXPROCS(0), core, hops)
+	policy := map[string]flowtable.Policy{"reserve": flowtable.Reserve, "refuse": flowtable.RefuseNew, "idle": flowtable.EvictIdle}[options.Policy]
+	listeners, err := udp.Open(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: options.Sockets, SharedSockets: options.Mode == "shared", ProxyHeader: options.Proxy,
+		Table: flowtable.Options{Entries: options.Flows, IdleTimeout: options.Idle.Duration, Policy: policy, ReservedShare: options.Reserve,
+			SettledDatagrams: options.Settled, SettledAge: options.After.Duration},
+		Sources:     flowtable.SourceOptions{Slots: options.Sources.Slots, Rate: options.Sources.Rate, Burst: options.Sources.Burst},
+		FlowQueue:   flowtable.QueueLimit{Count: options.Queue.Flow, Bytes: options.Queue.FlowBytes},
+		QueueBudget: flowtable.QueueBudget{Count: options.Queue.All, Bytes: options.Queue.AllBytes},
+		NewFlows:    flowtable.Pacer{Rate: options.New.Rate, Burst: options.New.Burst, NewestFirst: true},
+		Silence:     flowtable.SilenceOptions{After: options.Silence.After.Duration, Datagrams: options.Silence.Datagrams}, Echo: options.Silence.Echo,
+		ReplacedFlows: flowtable.Pacer{Rate: options.Again.Rate, Burst: options.Again.Burst}}, runtime.GOMAXPROCS(0), eventLoop, pool)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
-	parts.Go(func() { all.Serve(ctx) })
-	slog.Info("udp on", "listen", all.Addr(), "fronts", len(all), "flows", o.Flows, "sockets", o.Sockets)
-	return all, nil
+	goroutines.Go(func() { listeners.Serve(ctx) })
+	slog.Info("udp on", "listen", listeners.Addr(), "fronts", len(listeners), "flows", options.Flows, "sockets", options.Sockets)
+	return listeners, nil
 }
