--- a/internal/resumetoken/arbiter.go
+++ b/internal/resumetoken/arbiter.go
@@ -26,14 +26,14 @@
 	ArbiterUnreachable         // the arbiter gave no answer in time
 )
 
-var verdicts = map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", NotYetValid: "future",
+var verdictNames = map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", NotYetValid: "future",
 	WrongGuard: "foreign", GuardFull: "full", GuardUnavailable: "broken", Invalid: "forged", WrongClient: "stranger", ArbiterUnreachable: "unreachable"}
 
-func (v Verdict) String() string { return verdicts[v] }
+func (v Verdict) String() string { return verdictNames[v] }
 
 // ParseVerdict reads what String writes.
 func ParseVerdict(s string) (Verdict, bool) {
-	for v, name := range verdicts {
+	for v, name := range verdictNames {
 		if name == s {
 			return v, true
 		}
@@ -42,7 +42,7 @@
 }
 
 // verdictOf says what an error of Open, Belongs or Fresh makes of a token.
-func verdictOf(err error) Verdict {
+func verdictForError(err error) Verdict {
 	switch {
 	case err == nil:
 		return Granted
@@ -89,24 +89,24 @@
 // Judge decides on one presentation. On Granted with fresh set the program keeps
 // the record and calls Keep; a question repeated by the claimant that had it
 // already is granted once more and changes nothing.
-func (a *Arbiter) Decide(now time.Time, t *Token, c RedemptionID, spends LookupFunc) (v Verdict, fresh bool) {
-	w := WindowOf(t.ExpiresAt)
+func (a *Arbiter) Decide(now time.Time, token *Token, id RedemptionID, lookup LookupFunc) (verdict Verdict, isNew bool) {
+	window := WindowOf(token.ExpiresAt)
 	switch {
-	case t.GuardID != a.ID:
+	case token.GuardID != a.ID:
 		return WrongGuard, false
-	case w <= a.SweptThrough:
+	case window <= a.SweptThrough:
 		// Its record may be gone: a clock that was set back must not bring a
 		// spent token to life.
 		return Expired, false
 	}
-	if had, ok := spends(w, t.Nonce); ok {
-		if had == c {
+	if grantedTo, ok := lookup(window, token.Nonce); ok {
+		if grantedTo == id {
 			return Granted, false
 		}
 		return Spent, false
 	}
-	if err := t.VerifyTime(now, a.ClockSkew, 0); err != nil {
-		return verdictOf(err), false
+	if err := token.VerifyTime(now, a.ClockSkew, 0); err != nil {
+		return verdictForError(err), false
 	}
 	if a.RecordCount >= a.MaxRecords {
 		return GuardFull, false
@@ -117,8 +117,8 @@
 // Sweepable returns the last window that may be forgotten: all its tokens have
 // expired. It is false if there is none beyond those forgotten already.
 func (a *Arbiter) SweepableThrough(now time.Time) (Window, bool) {
-	w := WindowOf(now) - 1
-	return w, w > a.SweptThrough
+	window := WindowOf(now) - 1
+	return window, window > a.SweptThrough
 }
 
 // Member is a node whose ledger may arbitrate.
@@ -133,20 +133,20 @@
 // a question where the client returns there; an issuer about to restart names a
 // ready peer, spread by the nonce. With no peer it stays the issuer, if its ledger
 // survives. It is false if nobody could arbitrate: then no token is minted.
-func ChooseArbiter(self Candidate, leaving bool, peers []Candidate, n Nonce) (Candidate, bool) {
-	if !leaving && self.IsReady {
+func ChooseArbiter(self Candidate, draining bool, peers []Candidate, nonce Nonce) (Candidate, bool) {
+	if !draining && self.IsReady {
 		return self, true
 	}
 	ready := slices.DeleteFunc(slices.Clone(peers), func(m Candidate) bool { return !m.IsReady })
 	if len(ready) > 0 {
 		// Rendezvous hashing (Thaler and Ravishankar, 1998): a peer that comes or
 		// goes moves only its own share.
-		return slices.MaxFunc(ready, func(a, b Candidate) int { return cmp.Compare(weigh(a, n), weigh(b, n)) }), true
+		return slices.MaxFunc(ready, func(a, b Candidate) int { return cmp.Compare(rendezvousWeight(a, nonce), rendezvousWeight(b, nonce)) }), true
 	}
 	return self, self.IsReady && self.IsDurable
 }
 
-func weigh(m Candidate, n Nonce) uint64 {
-	sum := sha256.Sum256(append(n[:], m.Name...))
+func rendezvousWeight(candidate Candidate, nonce Nonce) uint64 {
+	sum := sha256.Sum256(append(nonce[:], candidate.Name...))
 	return binary.BigEndian.Uint64(sum[:])
 }
--- a/internal/resumetoken/keys.go
+++ b/internal/resumetoken/keys.go
@@ -25,9 +25,9 @@
 type Key struct {
 	ID              KeyID
 	SigningStartsAt time.Time // it verifies at once, and signs from then on
-	token           []byte
-	bind            []byte
-	peer            []byte
+	tokenSubkey     []byte
+	bindingSubkey   []byte
+	peerSubkey      []byte
 }
 
 // NewKey derives a key from a secret of SecretSize bytes.
@@ -35,39 +35,39 @@
 	if len(secret) != SecretSize {
 		return nil, fmt.Errorf("key %v: secret has %d bytes, want %d", id, len(secret), SecretSize)
 	}
-	k := &Key{ID: id, SigningStartsAt: signsFrom}
-	for use, to := range map[string]*[]byte{"token": &k.token, "bind": &k.bind, "peer": &k.peer} {
-		sub, err := hkdf.Key(sha256.New, secret, nil, "coralrelay resume v1 "+use, sha256.Size)
+	key := &Key{ID: id, SigningStartsAt: signsFrom}
+	for label, subkey := range map[string]*[]byte{"token": &key.tokenSubkey, "bind": &key.bindingSubkey, "peer": &key.peerSubkey} {
+		derived, err := hkdf.Key(sha256.New, secret, nil, "coralrelay resume v1 "+label, sha256.Size)
 		if err != nil {
 			return nil, fmt.Errorf("key %v: %w", id, err)
 		}
-		*to = sub
+		*subkey = derived
 	}
-	return k, nil
+	return key, nil
 }
 
 // Bind returns the binding to a client.
-func (k *Key) BindingFor(flowKey, group string) (b Binding) {
-	m := hmac.New(sha256.New, k.bind)
-	var size [8]byte // so that no two pairs give the same bytes
-	binary.BigEndian.PutUint64(size[:], uint64(len(flowKey)))
-	m.Write(size[:])
-	m.Write([]byte(flowKey))
-	m.Write([]byte(group))
-	copy(b[:], m.Sum(nil))
-	return b
+func (k *Key) BindingFor(flowKey, group string) (binding Binding) {
+	mac := hmac.New(sha256.New, k.bindingSubkey)
+	var length [8]byte // so that no two pairs give the same bytes
+	binary.BigEndian.PutUint64(length[:], uint64(len(flowKey)))
+	mac.Write(length[:])
+	mac.Write([]byte(flowKey))
+	mac.Write([]byte(group))
+	copy(binding[:], mac.Sum(nil))
+	return binding
 }
 
 // Peer authenticates what one ledger says to another.
 func (k *Key) PeerMAC(parts ...string) []byte {
-	m := hmac.New(sha256.New, k.peer)
-	for _, p := range parts {
-		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
-		m.Write(size[:])
-		m.Write([]byte(p))
+	mac := hmac.New(sha256.New, k.peerSubkey)
+	for _, part := range parts {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		mac.Write(length[:])
+		mac.Write([]byte(part))
 	}
-	return m.Sum(nil)[:macSize]
+	return mac.Sum(nil)[:macSize]
 }
 
 // Ring holds the keys of an installation: one signs, all verify. It does not
@@ -79,28 +79,28 @@
 	if len(keys) == 0 {
 		return nil, errors.New("no keys")
 	}
-	r := &KeyRing{keys: slices.Clone(keys)}
-	slices.SortFunc(r.keys, func(a, b *Key) int {
+	ring := &KeyRing{keys: slices.Clone(keys)}
+	slices.SortFunc(ring.keys, func(a, b *Key) int {
 		if c := b.SigningStartsAt.Compare(a.SigningStartsAt); c != 0 {
 			return c
 		}
 		return int(int64(b.ID) - int64(a.ID)) // a tie falls the same way on every node
 	})
-	for i, k := range r.keys {
-		for _, other := range r.keys[:i] {
-			if other.ID == k.ID {
-				return nil, fmt.Errorf("key %v: given twice", k.ID)
+	for i, key := range ring.keys {
+		for _, other := range ring.keys[:i] {
+			if other.ID == key.ID {
+				return nil, fmt.Errorf("key %v: given twice", key.ID)
 			}
 		}
 	}
-	return r, nil
+	return ring, nil
 }
 
 // Get returns the key with the id.
 func (r *KeyRing) Get(id KeyID) (*Key, bool) {
-	for _, k := range r.keys {
-		if k.ID == id {
-			return k, true
+	for _, key := range r.keys {
+		if key.ID == id {
+			return key, true
 		}
 	}
 	return nil, false
@@ -108,9 +108,9 @@
 
 // Signer returns the key that signs now: the latest whose time has come.
 func (r *KeyRing) SigningKey(now time.Time) (*Key, bool) {
-	for _, k := range r.keys {
-		if !k.SigningStartsAt.After(now) {
-			return k, true
+	for _, key := range r.keys {
+		if !key.SigningStartsAt.After(now) {
+			return key, true
 		}
 	}
 	return nil, false
--- a/internal/resumetoken/redemption.go
+++ b/internal/resumetoken/redemption.go
@@ -20,41 +20,41 @@
 // Redemption is one presentation at the node that took it. It ends with exactly
 // one Outcome; a grant that comes after that is not used, and the token is lost.
 type Redemption struct {
-	Token Token
-	done  bool
+	Token     Token
+	completed bool
 }
 
 // Begin checks a presentation. If it can be settled at once it returns the
 // outcome; else the token's arbiter has to be asked.
-func BeginRedemption(r *KeyRing, now time.Time, p Presentation, skew time.Duration) (*Redemption, Outcome, bool) {
-	t, err := Open(r, p.Token)
+func BeginRedemption(ring *KeyRing, now time.Time, presentation Presentation, skew time.Duration) (*Redemption, Outcome, bool) {
+	token, err := Open(ring, presentation.Token)
 	if err == nil {
-		err = t.VerifyClient(r, p.FlowKey, p.Group)
+		err = token.VerifyClient(ring, presentation.FlowKey, presentation.Group)
 	}
 	if err != nil {
-		return nil, Outcome{Verdict: verdictOf(err)}, true
+		return nil, Outcome{Verdict: verdictForError(err)}, true
 	}
-	red := &Redemption{Token: t}
-	if err := t.VerifyTime(now, skew, skew); err != nil {
-		return nil, red.settle(verdictOf(err)), true
+	redemption := &Redemption{Token: token}
+	if err := token.VerifyTime(now, skew, skew); err != nil {
+		return nil, redemption.complete(verdictForError(err)), true
 	}
-	return red, Outcome{}, false
+	return redemption, Outcome{}, false
 }
 
 // Answered takes the arbiter's verdict, or Unreachable at the deadline. Only the
 // first counts.
-func (r *Redemption) Complete(v Verdict) (Outcome, bool) {
-	if r.done {
+func (r *Redemption) Complete(verdict Verdict) (Outcome, bool) {
+	if r.completed {
 		return Outcome{}, false
 	}
-	return r.settle(v), true
+	return r.complete(verdict), true
 }
 
-func (r *Redemption) settle(v Verdict) Outcome {
-	r.done = true
-	if v == Granted {
-		return Outcome{Verdict: v, CanResume: true, Position: r.Token.Position, Nonce: r.Token.Nonce}
+func (r *Redemption) complete(verdict Verdict) Outcome {
+	r.completed = true
+	if verdict == Granted {
+		return Outcome{Verdict: verdict, CanResume: true, Position: r.Token.Position, Nonce: r.Token.Nonce}
 	}
 	// Spent or not, the token proves what its client has seen.
-	return Outcome{Verdict: v, HasMinPosition: true, Position: r.Token.Position}
+	return Outcome{Verdict: verdict, HasMinPosition: true, Position: r.Token.Position}
 }
--- a/internal/resumetoken/stored_test.go
+++ b/internal/resumetoken/stored_test.go
@@ -14,7 +14,7 @@
 //	go test ./internal/resumetoken -run TestStoredToken -update
 var update = flag.Bool("update", false, "rewrite testdata/stored")
 
-const storedToken = "testdata/stored/token.txt"
+const storedPath = "testdata/stored/token.txt"
 
 // A stored token is read to every value it was minted from, and minted again from them it
 // is the same text.
@@ -39,11 +39,11 @@
 		t.Fatal(err)
 	}
 	if *update {
-		if err := os.WriteFile(storedToken, []byte(text+"\n"), 0o600); err != nil {
+		if err := os.WriteFile(storedPath, []byte(text+"\n"), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	line, err := os.ReadFile(storedToken)
+	line, err := os.ReadFile(storedPath)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,25 +78,25 @@
 	}
 }
 
-func TestTextForms(t *testing.T) {
-	pos := Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210}
-	if text := pos.String(); text != "c0ffee0123456789:9876543210" {
+func TestTextEncodings(t *testing.T) {
+	position := Position{Epoch: 0xc0ffee0123456789, Offset: 9_876_543_210}
+	if text := position.String(); text != "c0ffee0123456789:9876543210" {
 		t.Errorf("position is written %q", text)
 	}
-	if got, err := ParsePosition("c0ffee0123456789:9876543210"); err != nil || got != pos {
+	if got, err := ParsePosition("c0ffee0123456789:9876543210"); err != nil || got != position {
 		t.Errorf("position is read as %+v: %v", got, err)
 	}
 	if text := KeyID(0x0a1b2c3d).String(); text != "0a1b2c3d" {
 		t.Errorf("key's id is written %q", text)
 	}
-	words := map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", NotYetValid: "future", WrongGuard: "foreign",
+	names := map[Verdict]string{Granted: "granted", Spent: "spent", Expired: "expired", NotYetValid: "future", WrongGuard: "foreign",
 		GuardFull: "full", GuardUnavailable: "broken", Invalid: "forged", WrongClient: "stranger", ArbiterUnreachable: "unreachable"}
-	if len(words) != len(verdicts) {
-		t.Errorf("%d verdicts, want %d", len(verdicts), len(words))
+	if len(names) != len(verdictNames) {
+		t.Errorf("%d verdicts, want %d", len(verdictNames), len(names))
 	}
-	for v, word := range words {
-		if got, ok := ParseVerdict(word); v.String() != word || !ok || got != v {
-			t.Errorf("%s: written %q, read as %v", word, v.String(), got)
+	for v, name := range names {
+		if got, ok := ParseVerdict(name); v.String() != name || !ok || got != v {
+			t.Errorf("%s: written %q, read as %v", name, v.String(), got)
 		}
 	}
 }
--- a/internal/resumetoken/token.go
+++ b/internal/resumetoken/token.go
@@ -29,8 +29,8 @@
 	// MaxLife bounds a token's life, and with it what a ledger has to remember.
 	MaxLifetime = 24 * time.Hour
 
-	macSize   = 16
-	fixedSize = 1 + 4 + 8 + 8 + 8 + 8 + 4 + 16 + 16
+	macSize         = 16
+	fixedFieldsSize = 1 + 4 + 8 + 8 + 8 + 8 + 4 + 16 + 16
 )
 
 // What can be wrong with a token. Each is a reason for a snapshot, not an error
@@ -58,12 +58,12 @@
 // ParsePosition reads what String writes.
 func ParsePosition(text string) (Position, error) {
 	epoch, offset, ok := strings.Cut(text, ":")
-	e, err := strconv.ParseUint(epoch, 16, 64)
-	o, err2 := strconv.ParseUint(offset, 10, 64)
-	if !ok || err != nil || err2 != nil {
+	epochNumber, epochErr := strconv.ParseUint(epoch, 16, 64)
+	offsetNumber, offsetErr := strconv.ParseUint(offset, 10, 64)
+	if !ok || epochErr != nil || offsetErr != nil {
 		return Position{}, fmt.Errorf("position %.40q: want EPOCH:OFFSET", text)
 	}
-	return Position{e, o}, nil
+	return Position{epochNumber, offsetNumber}, nil
 }
 
 // Nonce tells one token from all others.
@@ -102,95 +102,95 @@
 var encoding = base64.RawURLEncoding.Strict()
 
 // Mint returns a sealed token as text.
-func Mint(r *KeyRing, now time.Time, g Claims) (string, error) {
-	k, ok := r.SigningKey(now)
+func Mint(ring *KeyRing, now time.Time, claims Claims) (string, error) {
+	key, ok := ring.SigningKey(now)
 	switch {
 	case !ok:
 		return "", fmt.Errorf("mint: no key signs yet")
-	case g.Lifetime < time.Millisecond || g.Lifetime > MaxLifetime:
-		return "", fmt.Errorf("mint: life %v is not between 1ms and %v", g.Lifetime, MaxLifetime)
-	case len(g.Issuer) > MaxNameLength || len(g.Arbiter) > MaxNameLength || g.Arbiter == "":
-		return "", fmt.Errorf("mint: issuer %.50q or arbiter %.50q is not a name of up to %d bytes", g.Issuer, g.Arbiter, MaxNameLength)
+	case claims.Lifetime < time.Millisecond || claims.Lifetime > MaxLifetime:
+		return "", fmt.Errorf("mint: life %v is not between 1ms and %v", claims.Lifetime, MaxLifetime)
+	case len(claims.Issuer) > MaxNameLength || len(claims.Arbiter) > MaxNameLength || claims.Arbiter == "":
+		return "", fmt.Errorf("mint: issuer %.50q or arbiter %.50q is not a name of up to %d bytes", claims.Issuer, claims.Arbiter, MaxNameLength)
 	}
-	b := make([]byte, 0, fixedSize+2+len(g.Issuer)+len(g.Arbiter)+macSize)
-	b = append(b, Version)
-	b = binary.BigEndian.AppendUint32(b, uint32(k.ID))
-	b = append(b, g.GuardID[:]...)
-	b = binary.BigEndian.AppendUint64(b, g.Position.Epoch)
-	b = binary.BigEndian.AppendUint64(b, g.Position.Offset)
-	b = binary.BigEndian.AppendUint64(b, uint64(now.UnixMilli()))
-	b = binary.BigEndian.AppendUint32(b, uint32(g.Lifetime.Milliseconds()))
-	bind := k.BindingFor(g.FlowKey, g.Group)
-	b = append(b, bind[:]...)
-	b = append(b, g.Nonce[:]...)
-	b = append(append(b, byte(len(g.Issuer))), g.Issuer...)
-	b = append(append(b, byte(len(g.Arbiter))), g.Arbiter...)
-	b = append(b, k.seal(b)...)
-	return encoding.EncodeToString(b), nil
+	encoded := make([]byte, 0, fixedFieldsSize+2+len(claims.Issuer)+len(claims.Arbiter)+macSize)
+	encoded = append(encoded, Version)
+	encoded = binary.BigEndian.AppendUint32(encoded, uint32(key.ID))
+	encoded = append(encoded, claims.GuardID[:]...)
+	encoded = binary.BigEndian.AppendUint64(encoded, claims.Position.Epoch)
+	encoded = binary.BigEndian.AppendUint64(encoded, claims.Position.Offset)
+	encoded = binary.BigEndian.AppendUint64(encoded, uint64(now.UnixMilli()))
+	encoded = binary.BigEndian.AppendUint32(encoded, uint32(claims.Lifetime.Milliseconds()))
+	binding := key.BindingFor(claims.FlowKey, claims.Group)
+	encoded = append(encoded, binding[:]...)
+	encoded = append(encoded, claims.Nonce[:]...)
+	encoded = append(append(encoded, byte(len(claims.Issuer))), claims.Issuer...)
+	encoded = append(append(encoded, byte(len(claims.Arbiter))), claims.Arbiter...)
+	encoded = append(encoded, key.tokenMAC(encoded)...)
+	return encoding.EncodeToString(encoded), nil
 }
 
 // Open reads a token and checks its seal, in constant memory whatever the text.
 // It says nothing of whose the token is or whether it has expired.
-func Open(r *KeyRing, text string) (Token, error) {
+func Open(ring *KeyRing, text string) (Token, error) {
 	// The decoder passes over line ends, which would make one token of many texts.
 	if len(text) > MaxEncodedLength || strings.ContainsAny(text, "\r\n") {
 		return Token{}, ErrMalformed
 	}
-	var room [MaxEncodedLength]byte
-	n, err := encoding.Decode(room[:], []byte(text))
-	b := room[:n]
+	var buffer [MaxEncodedLength]byte
+	n, err := encoding.Decode(buffer[:], []byte(text))
+	decoded := buffer[:n]
 	if err != nil || n == 0 {
 		return Token{}, ErrMalformed
 	}
-	if b[0] != Version {
+	if decoded[0] != Version {
 		return Token{}, ErrUnsupportedVersion
 	}
-	if n < fixedSize+2+macSize {
+	if n < fixedFieldsSize+2+macSize {
 		return Token{}, ErrMalformed
 	}
-	sealed, mac := b[:n-macSize], b[n-macSize:]
-	t := Token{KeyID: KeyID(binary.BigEndian.Uint32(b[1:]))}
-	k, ok := r.Get(t.KeyID)
+	sealed, mac := decoded[:n-macSize], decoded[n-macSize:]
+	token := Token{KeyID: KeyID(binary.BigEndian.Uint32(decoded[1:]))}
+	key, ok := ring.Get(token.KeyID)
 	if !ok {
 		return Token{}, ErrUnknownKey
 	}
-	if !hmac.Equal(k.seal(sealed), mac) {
+	if !hmac.Equal(key.tokenMAC(sealed), mac) {
 		return Token{}, ErrBadMAC
 	}
 	// Sealed by one of ours: what follows is as Mint wrote it, but for lengths,
 	// which are checked all the same.
 	rest := sealed[5:]
-	rest = rest[copy(t.GuardID[:], rest):]
-	t.Position = Position{binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:])}
-	t.IssuedAt = time.UnixMilli(int64(binary.BigEndian.Uint64(rest[16:])))
-	t.ExpiresAt = t.IssuedAt.Add(time.Duration(binary.BigEndian.Uint32(rest[24:])) * time.Millisecond)
+	rest = rest[copy(token.GuardID[:], rest):]
+	token.Position = Position{binary.BigEndian.Uint64(rest), binary.BigEndian.Uint64(rest[8:])}
+	token.IssuedAt = time.UnixMilli(int64(binary.BigEndian.Uint64(rest[16:])))
+	token.ExpiresAt = token.IssuedAt.Add(time.Duration(binary.BigEndian.Uint32(rest[24:])) * time.Millisecond)
 	rest = rest[28:]
-	rest = rest[copy(t.Binding[:], rest):]
-	rest = rest[copy(t.Nonce[:], rest):]
-	if t.Issuer, rest, ok = name(rest); !ok {
+	rest = rest[copy(token.Binding[:], rest):]
+	rest = rest[copy(token.Nonce[:], rest):]
+	if token.Issuer, rest, ok = readName(rest); !ok {
 		return Token{}, ErrMalformed
 	}
-	if t.Arbiter, rest, ok = name(rest); !ok || len(rest) > 0 {
+	if token.Arbiter, rest, ok = readName(rest); !ok || len(rest) > 0 {
 		return Token{}, ErrMalformed
 	}
-	return t, nil
+	return token, nil
 }
 
-func name(b []byte) (string, []byte, bool) {
+func readName(b []byte) (string, []byte, bool) {
 	if len(b) == 0 || len(b)-1 < int(b[0]) || b[0] > MaxNameLength {
 		return "", nil, false
 	}
-	n := 1 + int(b[0])
-	return string(b[1:n]), b[n:], true
+	end := 1 + int(b[0])
+	return string(b[1:end]), b[end:], true
 }
 
 // Belongs tells whether the token is that of a client with this flow key and group.
-func (t *Token) VerifyClient(r *KeyRing, flowKey, group string) error {
-	k, ok := r.Get(t.KeyID)
+func (t *Token) VerifyClient(ring *KeyRing, flowKey, group string) error {
+	key, ok := ring.Get(t.KeyID)
 	if !ok {
 		return ErrUnknownKey
 	}
-	if want := k.BindingFor(flowKey, group); !hmac.Equal(want[:], t.Binding[:]) {
+	if want := key.BindingFor(flowKey, group); !hmac.Equal(want[:], t.Binding[:]) {
 		return ErrWrongClient
 	}
 	return nil
@@ -211,8 +211,8 @@
 
 // seal is the authentication of a token's bytes: HMAC-SHA-256 cut to 128 bits
 // (RFC 2104, section 5).
-func (k *Key) seal(b []byte) []byte {
-	m := hmac.New(sha256.New, k.token)
-	m.Write(b)
-	return m.Sum(nil)[:macSize]
+func (k *Key) tokenMAC(sealed []byte) []byte {
+	mac := hmac.New(sha256.New, k.tokenSubkey)
+	mac.Write(sealed)
+	return mac.Sum(nil)[:macSize]
 }
--- a/internal/resumetoken/token_test.go
+++ b/internal/resumetoken/token_test.go
@@ -30,22 +30,22 @@
 	return r
 }
 
-func grant() Claims {
+func testClaims() Claims {
 	return Claims{Issuer: "n1", Arbiter: "n2", GuardID: GuardID{9}, Position: Position{0xc0, 41}, FlowKey: "k7", Group: "g1",
 		Lifetime: time.Minute, Nonce: Nonce{1, 2, 3}}
 }
 
-func mint(t testing.TB, r *KeyRing, at time.Time) string {
-	text, err := Mint(r, at, grant())
+func mintTestToken(t testing.TB, r *KeyRing, at time.Time) string {
+	text, err := Mint(r, at, testClaims())
 	if err != nil {
 		t.Fatal(err)
 	}
 	return text
 }
 
-func TestTokenSaysWhatWasGranted(t *testing.T) {
+func TestTokenRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ring, err := NewKeyRing(mustKey(t))
+		ring, err := NewKeyRing(drawKey(t))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -76,7 +76,7 @@
 	})
 }
 
-func mustKey(t *rapid.T) *Key {
+func drawKey(t *rapid.T) *Key {
 	k, err := NewKey(KeyID(rapid.Uint32().Draw(t, "id")), now, rapid.SliceOfN(rapid.Byte(), SecretSize, SecretSize).Draw(t, "secret"))
 	if err != nil {
 		t.Fatal(err)
@@ -85,9 +85,9 @@
 }
 
 // No bit of a token can be changed, and none left out.
-func TestSpoiledTokens(t *testing.T) {
+func TestRejectsModifiedTokens(t *testing.T) {
 	ring := testRing(t)
-	text := mint(t, ring, now)
+	text := mintTestToken(t, ring, now)
 	for i := range len(text) {
 		for _, c := range []byte{'A', '_', 'z', '=', ' '} {
 			if c == text[i] {
@@ -106,7 +106,7 @@
 		err  error
 	}{
 		"future version": {"Ag" + text[2:], ErrUnsupportedVersion},
-		"no such key":    {mint(t, testRing(t, testKey(t, 5, now)), now), ErrUnknownKey},
+		"no such key":    {mintTestToken(t, testRing(t, testKey(t, 5, now)), now), ErrUnknownKey},
 		"endless":        {strings.Repeat("A", 5000), ErrMalformed},
 		"empty":          {"", ErrMalformed},
 	} {
@@ -125,10 +125,10 @@
 
 // A key that is rotated out of signing still verifies, and one that is not yet to
 // sign verifies already.
-func TestRotation(t *testing.T) {
+func TestKeyRotation(t *testing.T) {
 	first, second := testKey(t, 1, now.Add(-time.Hour)), testKey(t, 2, now.Add(time.Minute))
 	both := testRing(t, first, second)
-	before, after := mint(t, both, now), mint(t, both, now.Add(time.Minute))
+	before, after := mintTestToken(t, both, now), mintTestToken(t, both, now.Add(time.Minute))
 	for text, id := range map[string]KeyID{before: 1, after: 2} {
 		got, err := Open(both, text)
 		if err != nil || got.KeyID != id {
@@ -138,7 +138,7 @@
 	if _, err := Open(testRing(t, second), before); !errors.Is(err, ErrUnknownKey) {
 		t.Errorf("a removed key: %v", err)
 	}
-	if _, err := Mint(testRing(t, second), now, grant()); err == nil {
+	if _, err := Mint(testRing(t, second), now, testClaims()); err == nil {
 		t.Error("minted by a key that does not sign yet")
 	}
 	if _, err := NewKeyRing(first, testKey(t, 1, now)); err == nil {
@@ -146,9 +146,9 @@
 	}
 }
 
-func TestBegin(t *testing.T) {
+func TestBeginRedemption(t *testing.T) {
 	ring := testRing(t)
-	mine := Presentation{mint(t, ring, now), "k7", "g1"}
+	mine := Presentation{mintTestToken(t, ring, now), "k7", "g1"}
 	theirs, spoiled := mine, mine
 	theirs.FlowKey = "k8"
 	spoiled.Token = spoiled.Token[1:]
@@ -178,9 +178,9 @@
 	}
 }
 
-func TestJudge(t *testing.T) {
+func TestArbiterDecides(t *testing.T) {
 	ring := testRing(t)
-	tok, err := Open(ring, mint(t, ring, now))
+	tok, err := Open(ring, mintTestToken(t, ring, now))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -222,7 +222,7 @@
 	}
 }
 
-func TestChoose(t *testing.T) {
+func TestChooseArbiter(t *testing.T) {
 	self := Candidate{Name: "n1", IsReady: true, IsDurable: true}
 	peers := []Candidate{{Name: "n2", IsReady: true}, {Name: "n3", IsReady: true}, {Name: "n4"}}
 	if m, ok := ChooseArbiter(self, false, peers, Nonce{}); !ok || m.Name != "n1" {
@@ -251,7 +251,7 @@
 
 func FuzzOpen(f *testing.F) {
 	ring := testRing(f)
-	text := mint(f, ring, now)
+	text := mintTestToken(f, ring, now)
 	for _, seed := range []string{text, text[:40], "Ag" + text[2:], "", "====", strings.Repeat("A", 300)} {
 		f.Add(seed)
 	}
@@ -267,13 +267,13 @@
 	ring := testRing(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		mint(b, ring, now)
+		mintTestToken(b, ring, now)
 	}
 }
 
 func BenchmarkOpen(b *testing.B) {
 	ring := testRing(b)
-	good := mint(b, ring, now)
+	good := mintTestToken(b, ring, now)
 	for name, text := range map[string]string{"good": good, "forged": good[:len(good)-4] + "AAAA", "noise": "not a token at all"} {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
