--- a/internal/fleet/zonestatus/alone.go
+++ b/internal/fleet/zonestatus/alone.go
@@ -31,57 +31,57 @@
 
 // Step returns what a node of the member's zone may send others: never more than the
 // state says.
-func (a *IsolatedController) Evaluate(now time.Duration, s State, own Report) []TrafficLimit {
-	if a.controller == nil || s.Version != a.committed.Version || now-a.lastEvaluatedAt > a.cfg.ReportTTL || now < a.lastEvaluatedAt {
-		a.controller, a.committed, a.local = NewController(a.cfg), s, s
-		a.controller.committed = &a.committed
+func (c *IsolatedController) Evaluate(now time.Duration, state State, report Report) []TrafficLimit {
+	if c.controller == nil || state.Version != c.committed.Version || now-c.lastEvaluatedAt > c.cfg.ReportTTL || now < c.lastEvaluatedAt {
+		c.controller, c.committed, c.local = NewController(c.cfg), state, state
+		c.controller.committed = &c.committed
 	}
-	a.lastEvaluatedAt = now
-	a.controller.DisabledGuards = a.DisabledGuards
-	c, _, ok := a.controller.Evaluate(now, a.local, []Report{own}, []Member{{Name: own.Member, Zone: own.Zone, Alive: true}})
+	c.lastEvaluatedAt = now
+	c.controller.DisabledGuards = c.DisabledGuards
+	change, _, ok := c.controller.Evaluate(now, c.local, []Report{report}, []Member{{Name: report.Member, Zone: report.Zone, Alive: true}})
 	if ok {
-		if next, err := a.local.Apply(a.cfg, c); err == nil {
-			a.local = next
+		if next, err := c.local.Apply(c.cfg, change); err == nil {
+			c.local = next
 		}
 	}
-	all := s.TrafficLimits(own.Zone)
-	for _, b := range a.local.TrafficLimits(own.Zone) {
-		i := slices.IndexFunc(all, func(o TrafficLimit) bool { return o.Zone == b.Zone })
+	limits := state.TrafficLimits(report.Zone)
+	for _, limit := range c.local.TrafficLimits(report.Zone) {
+		index := slices.IndexFunc(limits, func(other TrafficLimit) bool { return other.Zone == limit.Zone })
 		switch {
-		case i < 0:
-			all = append(all, b)
-		case b.Share < all[i].Share:
-			all[i] = b
+		case index < 0:
+			limits = append(limits, limit)
+		case limit.Share < limits[index].Share:
+			limits[index] = limit
 		}
 	}
-	slices.SortFunc(all, func(x, y TrafficLimit) int { return comparePairs(PairStatus{From: x.Zone}, PairStatus{From: y.Zone}) })
-	return all
+	slices.SortFunc(limits, func(x, y TrafficLimit) int { return comparePairs(PairStatus{From: x.Zone}, PairStatus{From: y.Zone}) })
+	return limits
 }
 
 // oneUnit keeps, of what a member alone would leave, one zone or region that the record
 // has not left, or none if it has one already.
-func (w *Controller) limitToOneUnit(v *fleetView, d *changeDraft, from int, accused []int) []int {
-	unit := func(z string) string {
-		if r := w.cfg.RegionOf(z); r != "" {
-			return "region " + r
+func (c *Controller) limitToOneUnit(view *fleetView, draft *changeDraft, from int, candidates []int) []int {
+	unitOf := func(zone string) string {
+		if pair := c.cfg.RegionOf(zone); pair != "" {
+			return "region " + pair
 		}
-		return z
+		return zone
 	}
-	own, has := v.zones[from], ""
-	for _, r := range d.base.Pairs {
-		word := w.committed.pair(own, r.To).Status
-		if r.From == own && !word.isEvacuated() && (r.Status.isEvacuated() || r.Status == Recovering && word != Recovering) {
-			has = unit(r.To)
+	observer, currentUnit := view.zones[from], ""
+	for _, pair := range draft.base.Pairs {
+		recorded := c.committed.pair(observer, pair.To).Status
+		if pair.From == observer && !recorded.isEvacuated() && (pair.Status.isEvacuated() || pair.Status == Recovering && recorded != Recovering) {
+			currentUnit = unitOf(pair.To)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(accused), func(to int) bool {
-		z := v.zones[to]
-		if to == from || w.committed.pair(own, z).Status.isEvacuated() {
+	return slices.DeleteFunc(slices.Clone(candidates), func(to int) bool {
+		zone := view.zones[to]
+		if to == from || c.committed.pair(observer, zone).Status.isEvacuated() {
 			return true
 		}
-		if has == "" {
-			has = unit(z)
+		if currentUnit == "" {
+			currentUnit = unitOf(zone)
 		}
-		return unit(z) != has
+		return unitOf(zone) != currentUnit
 	})
 }
--- a/internal/fleet/zonestatus/back.go
+++ b/internal/fleet/zonestatus/back.go
@@ -4,63 +4,63 @@
 
 // back begins a return: where a zone that was left seems to serve again, as seen for long
 // enough from two zones that left it, or from as many as did.
-func (w *Controller) startRecoveries(v *fleetView, d *changeDraft) {
-	for to, z := range v.zones {
-		left, steady, outside := 0, 0, 0
-		ready := make([]bool, len(v.zones))
-		for from, a := range v.zones {
-			p, row := v.pair(from, to), d.base.pair(a, z)
-			gone := row.Status.isEvacuated()
-			t := w.heldFor(d.now, a, z, 'b', p.seemsRecovered())
-			ready[from] = t >= w.cfg.StableInterval || w.DisabledGuards.RecoveryRamp && t >= 0
+func (c *Controller) startRecoveries(view *fleetView, draft *changeDraft) {
+	for to, zone := range view.zones {
+		evacuatedObservers, steadyObservers, steadyOthers := 0, 0, 0
+		ready := make([]bool, len(view.zones))
+		for started, observer := range view.zones {
+			evidence, pair := view.pair(started, to), draft.base.pair(observer, zone)
+			evacuated := pair.Status.isEvacuated()
+			steadyFor := c.heldFor(draft.now, observer, zone, 'b', evidence.seemsRecovered())
+			ready[started] = steadyFor >= c.cfg.StableInterval || c.DisabledGuards.RecoveryRamp && steadyFor >= 0
 			switch {
-			case gone && v.hasMembers[from]:
-				if left++; ready[from] {
-					steady++
+			case evacuated && view.hasMembers[started]:
+				if evacuatedObservers++; ready[started] {
+					steadyObservers++
 				}
-			case ready[from] && p.known:
-				outside++
+			case ready[started] && evidence.known:
+				steadyOthers++
 			}
 		}
-		if steady == 0 || steady+outside < min(minReporters, left) {
+		if steadyObservers == 0 || steadyObservers+steadyOthers < min(minReporters, evacuatedObservers) {
 			continue
 		}
-		var from []string
-		for i, a := range v.zones {
-			row := d.base.pair(a, z)
-			waits := row.Status != Evacuated && (row.Status != HeldBack || d.now.Milliseconds() < row.HeldUntil)
-			if waits || !ready[i] && v.pair(i, to).receivers > 0 {
+		var started []string
+		for i, observer := range view.zones {
+			pair := draft.base.pair(observer, zone)
+			mustWait := pair.Status != Evacuated && (pair.Status != HeldBack || draft.now.Milliseconds() < pair.HeldUntil)
+			if mustWait || !ready[i] && view.pair(i, to).receivers > 0 {
 				continue
 			}
-			if d.set(w.recoveryStep(v, to, row, 1)) {
-				from = append(from, a)
+			if draft.set(c.recoveryStep(view, to, pair, 1)) {
+				started = append(started, observer)
 			}
 		}
-		d.addReason(z, "seems to serve again: tried", from)
+		draft.addReason(zone, "seems to serve again: tried", started)
 	}
-	w.equalizeRates(v, d)
+	c.equalizeRates(view, draft)
 }
 
 // step makes the row of a return's step.
-func (w *Controller) recoveryStep(v *fleetView, to int, row PairStatus, step int) PairStatus {
-	return PairStatus{From: row.From, To: row.To, Status: Recovering, Step: step, Share: w.cfg.RampSteps[step-1],
-		Rate: w.recoveryRate(v, to, step), Failures: row.Failures}
+func (c *Controller) recoveryStep(view *fleetView, to int, pair PairStatus, step int) PairStatus {
+	return PairStatus{From: pair.From, To: pair.To, Status: Recovering, Step: step, Share: c.cfg.RampSteps[step-1],
+		Rate: c.recoveryRate(view, to, step), Failures: pair.Failures}
 }
 
 // rate is how many set-ups a second the whole fleet may send a zone at one step. All its
 // servers come back cold at once: each bears half of what would make it fall, as it warms
 // up over the steps, and the session store keeps half for the other zones.
-func (w *Controller) recoveryRate(v *fleetView, to, step int) float64 {
-	if w.DisabledGuards.RecoveryRamp {
+func (c *Controller) recoveryRate(view *fleetView, to, step int) float64 {
+	if c.DisabledGuards.RecoveryRamp {
 		return maxRecoveryRate
 	}
-	st, warmth := &v.stats[to], 1.0
-	if past := float64(step-1) * w.cfg.StableInterval.Seconds(); past < w.cfg.SlowStartInterval.Seconds() {
-		warmth = w.cfg.ColdCapacityFraction + (1-w.cfg.ColdCapacityFraction)*past/w.cfg.SlowStartInterval.Seconds()
+	stats, warmth := &view.stats[to], 1.0
+	if elapsed := float64(step-1) * c.cfg.StableInterval.Seconds(); elapsed < c.cfg.SlowStartInterval.Seconds() {
+		warmth = c.cfg.ColdCapacityFraction + (1-c.cfg.ColdCapacityFraction)*elapsed/c.cfg.SlowStartInterval.Seconds()
 	}
-	rate := w.cfg.EndpointSetupRate * (1 - st.failing) * (st.endpoints - st.warmingUp + st.warmingUp*min(1, w.cfg.ColdOverloadFactor*warmth/2))
-	if w.cfg.StoreSetupRate > 0 {
-		rate = min(rate, w.cfg.StoreSetupRate/2)
+	rate := c.cfg.EndpointSetupRate * (1 - stats.failing) * (stats.endpoints - stats.warmingUp + stats.warmingUp*min(1, c.cfg.ColdOverloadFactor*warmth/2))
+	if c.cfg.StoreSetupRate > 0 {
+		rate = min(rate, c.cfg.StoreSetupRate/2)
 	}
 	return min(maxRecoveryRate, max(1, math.Round(rate)))
 }
@@ -79,102 +79,102 @@
 
 // climb takes the steps of returns, and takes them back. Zones that can't tell go with
 // those that can.
-func (w *Controller) advanceRecoveries(v *fleetView, d *changeDraft) {
-	for to, z := range v.zones {
-		asked, looking := 0.0, 0
-		for from, a := range v.zones {
-			if d.base.pair(a, z).Status == Recovering {
-				asked += v.pair(from, to).attempts
-				looking++
+func (c *Controller) advanceRecoveries(view *fleetView, draft *changeDraft) {
+	for to, zone := range view.zones {
+		attempts, recovering := 0.0, 0
+		for from, observer := range view.zones {
+			if draft.base.pair(observer, zone).Status == Recovering {
+				attempts += view.pair(from, to).attempts
+				recovering++
 			}
 		}
-		if looking == 0 {
+		if recovering == 0 {
 			continue
 		}
-		signs, on := make([]int, len(v.zones)), 0 // of which step all the sure ones go on
-		for from, a := range v.zones {
-			if row := d.base.pair(a, z); row.Status == Recovering {
-				if signs[from] = w.evaluateStep(v.pair(from, to), d, row, asked); signs[from] == stepSucceeds && d.elapsedSince(row.ChangedAt) >= w.cfg.StableInterval {
-					on = max(on, row.Step)
+		outcomes, lastSucceeded := make([]int, len(view.zones)), 0 // of which step all the sure ones go on
+		for from, observer := range view.zones {
+			if pair := draft.base.pair(observer, zone); pair.Status == Recovering {
+				if outcomes[from] = c.evaluateStep(view.pair(from, to), draft, pair, attempts); outcomes[from] == stepSucceeds && draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval {
+					lastSucceeded = max(lastSucceeded, pair.Step)
 				}
 			}
 		}
-		var up, down []string
-		for from, a := range v.zones {
-			row := d.base.pair(a, z)
-			if row.Status != Recovering || d.pair(a, z) != row {
+		var advanced, reverted []string
+		for from, observer := range view.zones {
+			pair := draft.base.pair(observer, zone)
+			if pair.Status != Recovering || draft.pair(observer, zone) != pair {
 				continue
 			}
-			follows := signs[from] == stepSucceeds || signs[from] == stepHolds && row.Step <= on && v.pair(from, to).receivers == 0
+			follows := outcomes[from] == stepSucceeds || outcomes[from] == stepHolds && pair.Step <= lastSucceeded && view.pair(from, to).receivers == 0
 			switch {
-			case w.DisabledGuards.RecoveryRamp || follows && d.elapsedSince(row.ChangedAt) >= w.cfg.StableInterval:
-				next := PairStatus{From: a, To: z, Share: quantizeShare(1 - v.pair(from, to).failingUnconfirmed), Failures: row.Failures}
-				if row.Step < len(w.cfg.RampSteps) {
-					next = w.recoveryStep(v, to, row, row.Step+1)
+			case c.DisabledGuards.RecoveryRamp || follows && draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval:
+				next := PairStatus{From: observer, To: zone, Share: quantizeShare(1 - view.pair(from, to).failingUnconfirmed), Failures: pair.Failures}
+				if pair.Step < len(c.cfg.RampSteps) {
+					next = c.recoveryStep(view, to, pair, pair.Step+1)
 				}
-				if d.set(next) {
-					up = append(up, a)
+				if draft.set(next) {
+					advanced = append(advanced, observer)
 				}
-			case signs[from] == stepEndsPartially:
-				if d.set(PairStatus{From: a, To: z, Share: quantizeShare(1 - v.pair(from, to).failingUnconfirmed), Failures: row.Failures}) {
-					up = append(up, a)
+			case outcomes[from] == stepEndsPartially:
+				if draft.set(PairStatus{From: observer, To: zone, Share: quantizeShare(1 - view.pair(from, to).failingUnconfirmed), Failures: pair.Failures}) {
+					advanced = append(advanced, observer)
 				}
-			case signs[from] == stepFails && row.Step > 1:
-				if d.set(w.recoveryStep(v, to, row, row.Step-1)) {
-					down = append(down, a)
+			case outcomes[from] == stepFails && pair.Step > 1:
+				if draft.set(c.recoveryStep(view, to, pair, pair.Step-1)) {
+					reverted = append(reverted, observer)
 				}
 			}
 		}
-		d.addReason(z, "holds its step: the next", up)
-		d.addReason(z, "does not hold its step: taken back", down)
+		draft.addReason(zone, "holds its step: the next", advanced)
+		draft.addReason(zone, "does not hold its step: taken back", reverted)
 	}
-	w.equalizeRates(v, d)
+	c.equalizeRates(view, draft)
 }
 
 // sign reads the evidence for one step of a return.
-func (w *Controller) evaluateStep(p *pairEvidence, d *changeDraft, row PairStatus, asked float64) int {
-	next, sound := 1.0, 1-p.failingUnconfirmed+0.1
-	if row.Step < len(w.cfg.RampSteps) {
-		next = w.cfg.RampSteps[row.Step]
+func (c *Controller) evaluateStep(evidence *pairEvidence, draft *changeDraft, pair PairStatus, attempts float64) int {
+	nextShare, sound := 1.0, 1-evidence.failingUnconfirmed+0.1
+	if pair.Step < len(c.cfg.RampSteps) {
+		nextShare = c.cfg.RampSteps[pair.Step]
 	}
-	whole := next <= sound || next == 1 && p.failingUnconfirmed <= 0.25
-	enough := asked >= w.cfg.MinAttempts || d.elapsedSince(row.ChangedAt) >= inconclusiveIntervals*w.cfg.StableInterval
-	serves := p.receivers > 0 && !p.unavailable
-	goes := w.heldFor(d.now, row.From, row.To, 'g', serves && whole && enough)
-	ends := w.heldFor(d.now, row.From, row.To, 'p', serves && !whole && p.failingUnconfirmed <= maxFailingForRecovery && quantizeShare(1-p.failingUnconfirmed) <= next)
-	falls := w.heldFor(d.now, row.From, row.To, 'f', p.receivers > 0 && sound+0.1 < row.Share)
-	quiet := w.heldFor(d.now, row.From, row.To, 'q', p.receivers == 0)
+	fullyServes := nextShare <= sound || nextShare == 1 && evidence.failingUnconfirmed <= 0.25
+	hasEvidence := attempts >= c.cfg.MinAttempts || draft.elapsedSince(pair.ChangedAt) >= inconclusiveIntervals*c.cfg.StableInterval
+	serves := evidence.receivers > 0 && !evidence.unavailable
+	succeedsFor := c.heldFor(draft.now, pair.From, pair.To, 'g', serves && fullyServes && hasEvidence)
+	partialFor := c.heldFor(draft.now, pair.From, pair.To, 'p', serves && !fullyServes && evidence.failingUnconfirmed <= maxFailingForRecovery && quantizeShare(1-evidence.failingUnconfirmed) <= nextShare)
+	failsFor := c.heldFor(draft.now, pair.From, pair.To, 'f', evidence.receivers > 0 && sound+0.1 < pair.Share)
+	silentFor := c.heldFor(draft.now, pair.From, pair.To, 'q', evidence.receivers == 0)
 	switch {
-	case falls >= w.cfg.ConfirmInterval || quiet >= 2*w.cfg.StableInterval:
+	case failsFor >= c.cfg.ConfirmInterval || silentFor >= 2*c.cfg.StableInterval:
 		return stepFails
-	case goes >= w.cfg.StableInterval:
+	case succeedsFor >= c.cfg.StableInterval:
 		return stepSucceeds
-	case ends >= w.cfg.StableInterval:
+	case partialFor >= c.cfg.StableInterval:
 		return stepEndsPartially
 	}
 	return stepHolds
 }
 
 // level gives all rows of one zone's return the same rate: it is the whole fleet's.
-func (w *Controller) equalizeRates(v *fleetView, d *changeDraft) {
-	if !d.deferrableAllowed {
+func (c *Controller) equalizeRates(view *fleetView, draft *changeDraft) {
+	if !draft.deferrableAllowed {
 		return
 	}
-	for to, z := range v.zones {
+	for to, zone := range view.zones {
 		step, changed := maxRampSteps+1, false
-		for _, a := range v.zones {
-			if r := d.pair(a, z); r.Status == Recovering {
-				step = min(step, r.Step)
-				changed = changed || r != d.base.pair(a, z)
+		for _, observer := range view.zones {
+			if pair := draft.pair(observer, zone); pair.Status == Recovering {
+				step = min(step, pair.Step)
+				changed = changed || pair != draft.base.pair(observer, zone)
 			}
 		}
 		if !changed {
 			continue
 		}
-		for _, a := range v.zones {
-			if r := d.pair(a, z); r.Status == Recovering {
-				r.Rate = w.recoveryRate(v, to, step)
-				d.changed[[2]string{a, z}] = r
+		for _, observer := range view.zones {
+			if pair := draft.pair(observer, zone); pair.Status == Recovering {
+				pair.Rate = c.recoveryRate(view, to, step)
+				draft.changed[[2]string{observer, zone}] = pair
 			}
 		}
 	}
--- a/internal/fleet/zonestatus/config.go
+++ b/internal/fleet/zonestatus/config.go
@@ -70,11 +70,11 @@
 // Check names the first key that can't be worked with.
 func (c Config) Validate() error {
 	c = c.withDefaults()
-	bad := func(key, why string) error { return fmt.Errorf("fleet.zones.%s: %s", key, why) }
-	if err := c.validateNames(bad); err != nil {
+	invalid := func(key, reason string) error { return fmt.Errorf("fleet.zones.%s: %s", key, reason) }
+	if err := c.validateNames(invalid); err != nil {
 		return err
 	}
-	for _, t := range []struct {
+	for _, bound := range []struct {
 		key         string
 		is          time.Duration
 		least, most time.Duration
@@ -85,61 +85,61 @@
 		{"hold", c.BaseHoldInterval, 100 * time.Millisecond, time.Hour}, {"holdMost", c.MaxHoldInterval, c.BaseHoldInterval, 24 * time.Hour},
 		{"quiet", c.FailureResetInterval, c.MaxHoldInterval, 240 * time.Hour}, {"ramp", c.SlowStartInterval, 0, time.Hour},
 	} {
-		if t.is < t.least || t.is > t.most {
-			return bad(t.key, fmt.Sprintf("%v is outside %v to %v", t.is, t.least, t.most))
+		if bound.is < bound.least || bound.is > bound.most {
+			return invalid(bound.key, fmt.Sprintf("%v is outside %v to %v", bound.is, bound.least, bound.most))
 		}
 	}
-	for _, t := range []struct {
+	for _, bound := range []struct {
 		key             string
 		is, least, most float64
 	}{
 		{"enough", c.MinAttempts, 0.1, 1e6}, {"lost", c.UnavailableThreshold, 0.7, 1}, {"most", c.MaxEvacuatedFraction, 0.01, 0.99}, {"high", c.MaxUtilization, 0.1, 1},
 		{"cold", c.ColdCapacityFraction, 0.01, 1}, {"multiple", c.ColdOverloadFactor, 0.1, 100}, {"bears", c.EndpointSetupRate, 0.01, 1e6}, {"store", c.StoreSetupRate, 0, 1e6},
 	} {
-		if !(t.is >= t.least && t.is <= t.most) {
-			return bad(t.key, fmt.Sprintf("%v is outside %v to %v", t.is, t.least, t.most))
+		if !(bound.is >= bound.least && bound.is <= bound.most) {
+			return invalid(bound.key, fmt.Sprintf("%v is outside %v to %v", bound.is, bound.least, bound.most))
 		}
 	}
 	if len(c.RampSteps) > maxRampSteps {
-		return bad("steps", fmt.Sprintf("%d of them, at most %d are taken", len(c.RampSteps), maxRampSteps))
+		return invalid("steps", fmt.Sprintf("%d of them, at most %d are taken", len(c.RampSteps), maxRampSteps))
 	}
 	for i, share := range c.RampSteps {
 		if !(share > 0 && share <= 1) || i > 0 && share <= c.RampSteps[i-1] {
-			return bad("steps", "shares must rise, from above 0 to 1 at most")
+			return invalid("steps", "shares must rise, from above 0 to 1 at most")
 		}
 	}
 	return nil
 }
 
 // named checks the names of zones and regions.
-func (c Config) validateNames(bad func(key, why string) error) error {
+func (c Config) validateNames(invalid func(key, reason string) error) error {
 	if len(c.Zones) > maxZones {
-		return bad("zones", fmt.Sprintf("%d of them, at most %d are taken", len(c.Zones), maxZones))
+		return invalid("zones", fmt.Sprintf("%d of them, at most %d are taken", len(c.Zones), maxZones))
 	}
-	for i, z := range c.Zones {
-		if !isValidName(z) {
-			return bad("zones", fmt.Sprintf("%.80q is no name", z))
+	for i, zone := range c.Zones {
+		if !isValidName(zone) {
+			return invalid("zones", fmt.Sprintf("%.80q is no name", zone))
 		}
-		if slices.Contains(c.Zones[:i], z) {
-			return bad("zones", fmt.Sprintf("%q is there twice", z))
+		if slices.Contains(c.Zones[:i], zone) {
+			return invalid("zones", fmt.Sprintf("%q is there twice", zone))
 		}
 	}
-	in := map[string]string{}
+	regionByZone := map[string]string{}
 	for _, region := range c.regionNames() {
 		key := "regions." + region
 		if !isValidName(region) || len(c.Regions[region]) == 0 {
-			return bad(key, "a region has a name and a zone at least")
+			return invalid(key, "a region has a name and a zone at least")
 		}
-		for _, z := range c.Regions[region] {
-			switch other, twice := in[z]; {
-			case !isValidName(z):
-				return bad(key, fmt.Sprintf("%.80q is no zone's name", z))
-			case twice:
-				return bad(key, fmt.Sprintf("zone %q is in %q already", z, other))
-			case len(c.Zones) > 0 && !slices.Contains(c.Zones, z):
-				return bad(key, fmt.Sprintf("zone %q is none of fleet.zones.zones", z))
+		for _, zone := range c.Regions[region] {
+			switch other, assigned := regionByZone[zone]; {
+			case !isValidName(zone):
+				return invalid(key, fmt.Sprintf("%.80q is no zone's name", zone))
+			case assigned:
+				return invalid(key, fmt.Sprintf("zone %q is in %q already", zone, other))
+			case len(c.Zones) > 0 && !slices.Contains(c.Zones, zone):
+				return invalid(key, fmt.Sprintf("zone %q is none of fleet.zones.zones", zone))
 			}
-			in[z] = region
+			regionByZone[zone] = region
 		}
 	}
 	return nil
--- a/internal/fleet/zonestatus/evidence.go
+++ b/internal/fleet/zonestatus/evidence.go
@@ -74,174 +74,174 @@
 }
 
 // true words only: what comes from outside may be anything.
-func (w *Report) isPlausible() bool {
-	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return len(w.Observations) <= maxObservations && !slices.ContainsFunc(w.Observations, func(s Observation) bool {
-		return !isValidName(s.Zone) || s.Endpoints < 0 || s.Endpoints > 1e6 || s.Failing < 0 || s.Failing > s.Endpoints || s.Attempted < 0 || s.Attempted > s.Endpoints ||
-			s.WarmingUp < 0 || s.WarmingUp > s.Endpoints || !good(s.Attempts) || !good(s.FailedAttempts) || s.FailedAttempts > s.Attempts+1e-6 || !(s.Load >= -1 && s.Load <= 1000)
+func (r *Report) isPlausible() bool {
+	isCount := func(x float64) bool { return x >= 0 && x <= 1e9 }
+	return len(r.Observations) <= maxObservations && !slices.ContainsFunc(r.Observations, func(o Observation) bool {
+		return !isValidName(o.Zone) || o.Endpoints < 0 || o.Endpoints > 1e6 || o.Failing < 0 || o.Failing > o.Endpoints || o.Attempted < 0 || o.Attempted > o.Endpoints ||
+			o.WarmingUp < 0 || o.WarmingUp > o.Endpoints || !isCount(o.Attempts) || !isCount(o.FailedAttempts) || o.FailedAttempts > o.Attempts+1e-6 || !(o.Load >= -1 && o.Load <= 1000)
 	})
 }
 
 // share is the part of the tried servers that failed.
-func (s *Observation) failingFraction() float64 {
-	if s.Attempted > 0 {
-		return min(1, float64(s.Failing)/float64(s.Attempted))
+func (o *Observation) failingFraction() float64 {
+	if o.Attempted > 0 {
+		return min(1, float64(o.Failing)/float64(o.Attempted))
 	}
-	return float64(s.Failing) / float64(max(s.Endpoints, 1))
+	return float64(o.Failing) / float64(max(o.Endpoints, 1))
 }
 
 // tells whether the member asked enough of the zone, and enough of its servers.
-func (s *Observation) isConclusive(cfg *Config) bool {
-	return s.Endpoints > 0 && s.Attempts >= cfg.MinAttempts && (s.Attempted == 0 || 2*s.Attempted >= s.Endpoints)
+func (o *Observation) isConclusive(cfg *Config) bool {
+	return o.Endpoints > 0 && o.Attempts >= cfg.MinAttempts && (o.Attempted == 0 || 2*o.Attempted >= o.Endpoints)
 }
 
 // lost tells whether the zone served the member nothing.
-func (s *Observation) isUnavailable(cfg *Config) bool {
-	return s.isConclusive(cfg) && s.failingFraction() >= cfg.UnavailableThreshold && 2*s.FailedAttempts >= s.Attempts
+func (o *Observation) isUnavailable(cfg *Config) bool {
+	return o.isConclusive(cfg) && o.failingFraction() >= cfg.UnavailableThreshold && 2*o.FailedAttempts >= o.Attempts
 }
 
 // wide tells whether the member fails to reach most zones that have servers: then it may be
 // the one that is cut off.
-func (w *Report) isIsolated(cfg *Config) bool {
-	all, lost := 0, 0
-	for i := range w.Observations {
-		if s := &w.Observations[i]; s.Endpoints > 0 {
-			if all++; s.isUnavailable(cfg) {
-				lost++
+func (r *Report) isIsolated(cfg *Config) bool {
+	total, unavailable := 0, 0
+	for i := range r.Observations {
+		if observation := &r.Observations[i]; observation.Endpoints > 0 {
+			if total++; observation.isUnavailable(cfg) {
+				unavailable++
 			}
 		}
 	}
-	return 2*lost > all
+	return 2*unavailable > total
 }
 
 // usable returns the newest fresh word of each member that is alive, by name, where it
 // says the zone that membership says.
 func usableReports(cfg Config, now time.Duration, reports []Report, members []Member) []*Report {
-	zone := make(map[string]string, len(members))
-	for _, m := range members {
-		if m.Alive {
-			zone[m.Name] = m.Zone
+	zoneByMember := make(map[string]string, len(members))
+	for _, member := range members {
+		if member.Alive {
+			zoneByMember[member.Name] = member.Zone
 		}
 	}
 	newest := make(map[string]*Report, len(members))
 	for i := range reports[:min(len(reports), maxReports)] {
-		r := &reports[i]
-		if z, ok := zone[r.Member]; !ok || z != r.Zone || !r.isPlausible() || r.ReportedAt > now+cfg.MaxClockSkew || now-r.ReportedAt > cfg.ReportTTL+cfg.MaxClockSkew {
+		report := &reports[i]
+		if zone, ok := zoneByMember[report.Member]; !ok || zone != report.Zone || !report.isPlausible() || report.ReportedAt > now+cfg.MaxClockSkew || now-report.ReportedAt > cfg.ReportTTL+cfg.MaxClockSkew {
 			continue
 		}
-		if old := newest[r.Member]; old == nil || old.ReportedAt < r.ReportedAt {
-			newest[r.Member] = r
+		if previous := newest[report.Member]; previous == nil || previous.ReportedAt < report.ReportedAt {
+			newest[report.Member] = report
 		}
 	}
-	out := make([]*Report, 0, len(newest))
+	usable := make([]*Report, 0, len(newest))
 	for _, name := range slices.Sorted(maps.Keys(newest)) {
-		out = append(out, newest[name])
+		usable = append(usable, newest[name])
 	}
-	return out
+	return usable
 }
 
 // see makes one view of all words.
-func newFleetView(cfg Config, guards Guards, now time.Duration, s State, allReports []Report, members []Member) *fleetView {
+func newFleetView(cfg Config, guards Guards, now time.Duration, state State, allReports []Report, members []Member) *fleetView {
 	v := &fleetView{cfg: cfg, guards: guards}
 	reports := usableReports(cfg, now, allReports, members)
-	v.nameZones(s, reports, members)
+	v.nameZones(state, reports, members)
 	n := len(v.zones)
-	at := make(map[string]int, n)
-	for i, z := range v.zones {
-		at[z] = i
-		v.regions = append(v.regions, cfg.RegionOf(z))
+	zoneIndex := make(map[string]int, n)
+	for i, zone := range v.zones {
+		zoneIndex[zone] = i
+		v.regions = append(v.regions, cfg.RegionOf(zone))
 	}
 	v.aliveMembers, v.hasMembers, v.pairs = make([]int, n), make([]bool, n), make([]pairEvidence, n*n)
-	for _, m := range members {
-		if i, ok := at[m.Zone]; ok {
+	for _, member := range members {
+		if i, ok := zoneIndex[member.Zone]; ok {
 			v.hasMembers[i] = true
-			if m.Alive {
+			if member.Alive {
 				v.aliveMembers[i]++
 			}
 		}
 	}
-	for _, r := range s.Pairs {
-		v.hasMembers[at[r.From]] = true
+	for _, pair := range state.Pairs {
+		v.hasMembers[zoneIndex[pair.From]] = true
 	}
 	v.computeMemberFractions()
-	wide := v.addReports(at, reports)
-	v.collectStats(at, reports)
+	isolated := v.addReports(zoneIndex, reports)
+	v.collectStats(zoneIndex, reports)
 	for i := range v.pairs {
 		v.pairs[i].summarize(v.quorum(i / n))
 	}
-	v.crossCheck(wide)
+	v.crossCheck(isolated)
 	return v
 }
 
 // name lists the zones: those of the state first, then those of members and those that two
 // words name.
-func (v *fleetView) nameZones(s State, heard []*Report, members []Member) {
-	named := map[string]int{}
-	for _, w := range heard {
-		for i := range w.Observations {
-			named[w.Observations[i].Zone]++
+func (v *fleetView) nameZones(state State, reports []*Report, members []Member) {
+	mentions := map[string]int{}
+	for _, report := range reports {
+		for i := range report.Observations {
+			mentions[report.Observations[i].Zone]++
 		}
 	}
-	for _, m := range members {
-		named[m.Zone] = maxReports
+	for _, member := range members {
+		mentions[member.Zone] = maxReports
 	}
 	known := map[string]bool{}
-	for _, r := range s.Pairs {
-		known[r.From], known[r.To] = true, true
+	for _, pair := range state.Pairs {
+		known[pair.From], known[pair.To] = true, true
 	}
-	for _, z := range slices.Sorted(maps.Keys(named)) {
-		if isValidName(z) && named[z] >= min(minReporters, max(1, len(heard))) && (len(v.cfg.Zones) == 0 || slices.Contains(v.cfg.Zones, z)) {
-			known[z] = known[z] || len(known) < maxZones
+	for _, zone := range slices.Sorted(maps.Keys(mentions)) {
+		if isValidName(zone) && mentions[zone] >= min(minReporters, max(1, len(reports))) && (len(v.cfg.Zones) == 0 || slices.Contains(v.cfg.Zones, zone)) {
+			known[zone] = known[zone] || len(known) < maxZones
 		}
 	}
-	maps.DeleteFunc(known, func(_ string, is bool) bool { return !is })
+	maps.DeleteFunc(known, func(_ string, isKnown bool) bool { return !isKnown })
 	v.zones = slices.Sorted(maps.Keys(known))
 }
 
 // gather adds up the words by pair, and tells which zones' members mostly reach hardly
 // anybody. A few such members in a sound zone are not heard.
-func (v *fleetView) addReports(at map[string]int, heard []*Report) (wide []bool) {
-	said, lost := make([]int, len(v.zones)), make([]int, len(v.zones))
-	alone := make([]bool, len(heard))
-	for i, w := range heard {
-		if from, ok := at[w.Zone]; ok {
-			said[from]++
-			if alone[i] = w.isIsolated(&v.cfg) && !v.guards.ReporterConnectivity; alone[i] {
-				lost[from]++
+func (v *fleetView) addReports(zoneIndex map[string]int, reports []*Report) (isolatedZones []bool) {
+	reporters, isolatedReporters := make([]int, len(v.zones)), make([]int, len(v.zones))
+	isolated := make([]bool, len(reports))
+	for i, report := range reports {
+		if from, ok := zoneIndex[report.Zone]; ok {
+			reporters[from]++
+			if isolated[i] = report.isIsolated(&v.cfg) && !v.guards.ReporterConnectivity; isolated[i] {
+				isolatedReporters[from]++
 			}
 		}
 	}
-	wide = make([]bool, len(v.zones))
-	for from := range wide {
-		wide[from] = lost[from] > 0 && 2*lost[from] >= said[from]
+	isolatedZones = make([]bool, len(v.zones))
+	for from := range isolatedZones {
+		isolatedZones[from] = isolatedReporters[from] > 0 && 2*isolatedReporters[from] >= reporters[from]
 	}
-	for i, w := range heard {
-		from, ok := at[w.Zone]
-		if !ok || alone[i] && !wide[from] {
+	for i, report := range reports {
+		from, ok := zoneIndex[report.Zone]
+		if !ok || isolated[i] && !isolatedZones[from] {
 			continue
 		}
-		for j := range w.Observations {
-			if to, ok := at[w.Observations[j].Zone]; ok {
-				v.pair(from, to).add(&v.cfg, &w.Observations[j], v.aliveMembers[from])
+		for j := range report.Observations {
+			if to, ok := zoneIndex[report.Observations[j].Zone]; ok {
+				v.pair(from, to).add(&v.cfg, &report.Observations[j], v.aliveMembers[from])
 			}
 		}
 	}
-	return wide
+	return isolatedZones
 }
 
 // add counts one member's sight.
-func (p *pairEvidence) add(cfg *Config, s *Observation, members int) {
-	if s.Endpoints == 0 {
+func (p *pairEvidence) add(cfg *Config, observation *Observation, members int) {
+	if observation.Endpoints == 0 {
 		return
 	}
 	if p.failingSeen == nil {
 		p.failingReported, p.failingSeen = make([]float64, 0, members), make([]float64, 0, members)
 	}
-	p.attempts += s.Attempts
-	p.failingSeen = append(p.failingSeen, s.failingFraction())
-	if s.isConclusive(cfg) {
-		p.failingReported = append(p.failingReported, s.failingFraction())
-		if s.isUnavailable(cfg) {
+	p.attempts += observation.Attempts
+	p.failingSeen = append(p.failingSeen, observation.failingFraction())
+	if observation.isConclusive(cfg) {
+		p.failingReported = append(p.failingReported, observation.failingFraction())
+		if observation.isUnavailable(cfg) {
 			p.unavailableReports++
 		}
 	}
--- a/internal/fleet/zonestatus/judge.go
+++ b/internal/fleet/zonestatus/judge.go
@@ -3,12 +3,12 @@
 import "slices"
 
 // median returns the lower one, which is that of a member who was there.
-func median(all []float64, none float64) float64 {
-	if len(all) == 0 {
-		return none
+func median(values []float64, fallback float64) float64 {
+	if len(values) == 0 {
+		return fallback
 	}
-	slices.Sort(all)
-	return all[(len(all)-1)/2]
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
 
 // settle turns a pair's counts into what is known. A zone is lost if as many members as it
@@ -25,27 +25,27 @@
 }
 
 // stock takes the medians of what there is in each zone.
-func (v *fleetView) collectStats(at map[string]int, heard []*Report) {
+func (v *fleetView) collectStats(zoneIndex map[string]int, reports []*Report) {
 	n := len(v.zones)
 	all := make([][4][]float64, n)
 	for i := range all {
 		for k := range all[i] {
-			all[i][k] = make([]float64, 0, len(heard))
+			all[i][k] = make([]float64, 0, len(reports))
 		}
 	}
-	for _, w := range heard {
-		for i := range w.Observations {
-			s := &w.Observations[i]
-			to, ok := at[s.Zone]
+	for _, report := range reports {
+		for i := range report.Observations {
+			observation := &report.Observations[i]
+			to, ok := zoneIndex[observation.Zone]
 			if !ok {
 				continue
 			}
-			all[to][0] = append(all[to][0], float64(s.Endpoints))
-			all[to][1] = append(all[to][1], float64(s.WarmingUp))
-			if s.Load >= 0 {
-				all[to][2] = append(all[to][2], s.Load)
+			all[to][0] = append(all[to][0], float64(observation.Endpoints))
+			all[to][1] = append(all[to][1], float64(observation.WarmingUp))
+			if observation.Load >= 0 {
+				all[to][2] = append(all[to][2], observation.Load)
 			}
-			all[to][3] = append(all[to][3], s.failingFraction())
+			all[to][3] = append(all[to][3], observation.failingFraction())
 		}
 	}
 	v.stats = make([]zoneStats, n)
@@ -56,14 +56,14 @@
 
 // judge weighs the pairs against one another: who is cut off himself accuses nobody, and a
 // region most of whose servers are lost is lost.
-func (v *fleetView) crossCheck(wide []bool) {
+func (v *fleetView) crossCheck(isolated []bool) {
 	n := len(v.zones)
-	first := make([]pairEvidence, len(v.pairs))
-	copy(first, v.pairs)
-	for from, w := range wide {
+	original := make([]pairEvidence, len(v.pairs))
+	copy(original, v.pairs)
+	for from, isIsolated := range isolated {
 		for to := range n {
-			if p := v.pair(from, to); w && (p.unavailable || p.failing > maxFailingForRecovery/2) && !othersAgree(first, n, from, to) {
-				*p = pairEvidence{}
+			if evidence := v.pair(from, to); isIsolated && (evidence.unavailable || evidence.failing > maxFailingForRecovery/2) && !othersAgree(original, n, from, to) {
+				*evidence = pairEvidence{}
 			}
 		}
 	}
@@ -77,27 +77,27 @@
 
 // agreed tells whether most other zones that know a zone hold it for lost too. Two dead
 // zones of three are seen so by all; who is cut off is alone with what he sees.
-func othersAgree(pairs []pairEvidence, n, from, to int) bool {
-	known, lost := 0, 0
-	for other := range n {
-		if p := &pairs[other*n+to]; other != from && p.known {
-			if known++; p.unavailable {
-				lost++
+func othersAgree(pairs []pairEvidence, zoneCount, from, to int) bool {
+	known, unavailable := 0, 0
+	for other := range zoneCount {
+		if evidence := &pairs[other*zoneCount+to]; other != from && evidence.known {
+			if known++; evidence.unavailable {
+				unavailable++
 			}
 		}
 	}
-	return 2*lost > known
+	return 2*unavailable > known
 }
 
 // alike gives all zones the worst that one sees.
 func (v *fleetView) shareWorstView() {
 	for to := range v.zones {
-		any := false
+		unavailable := false
 		for from := range v.zones {
-			any = any || v.pair(from, to).unavailable
+			unavailable = unavailable || v.pair(from, to).unavailable
 		}
 		for from := range v.zones {
-			v.pair(from, to).unavailable = any
+			v.pair(from, to).unavailable = unavailable
 		}
 	}
 }
@@ -106,20 +106,20 @@
 // own part of it stays.
 func (v *fleetView) extendToRegion(from int) {
 	for _, region := range v.cfg.regionNames() {
-		all, lost := 0.0, 0.0
-		for to, r := range v.regions {
-			if r == region {
-				all += v.stats[to].endpoints
+		total, unavailable := 0.0, 0.0
+		for to, zoneRegion := range v.regions {
+			if zoneRegion == region {
+				total += v.stats[to].endpoints
 				if v.pair(from, to).unavailable {
-					lost += v.stats[to].endpoints
+					unavailable += v.stats[to].endpoints
 				}
 			}
 		}
-		if 2*lost <= all {
+		if 2*unavailable <= total {
 			continue
 		}
-		for to, r := range v.regions {
-			if r == region && to != from {
+		for to, zoneRegion := range v.regions {
+			if zoneRegion == region && to != from {
 				v.pair(from, to).unavailable = true
 			}
 		}
@@ -129,16 +129,16 @@
 // followed tells whether a zone fails for everybody who can tell, and for so many that
 // those who can't tell leave it with the others.
 func (v *fleetView) failsForMost(to int) bool {
-	known, lost := 0, 0
+	known, unavailable := 0, 0
 	for from := range v.zones {
-		if p := v.pair(from, to); p.unavailable {
+		if evidence := v.pair(from, to); evidence.unavailable {
 			known++
-			lost++
-		} else if p.known {
+			unavailable++
+		} else if evidence.known {
 			known++
 		}
 	}
-	return lost >= minReporters && 4*lost >= 3*known
+	return unavailable >= minReporters && 4*unavailable >= 3*known
 }
 
 // answers tells whether a zone seems to serve again: members know of servers there, and no
--- a/internal/fleet/zonestatus/leave.go
+++ b/internal/fleet/zonestatus/leave.go
@@ -7,96 +7,96 @@
 )
 
 // leave drafts what is left now: each zone from all that have lost it at once.
-func (w *Controller) evacuate(v *fleetView, d *changeDraft) {
-	all := make([][]int, len(v.zones)) // what each zone would leave
-	for to := range v.zones {
-		for _, from := range w.observersToEvacuate(v, d, to) {
-			all[from] = append(all[from], to)
+func (c *Controller) evacuate(view *fleetView, draft *changeDraft) {
+	candidatesByObserver := make([][]int, len(view.zones)) // what each zone would leave
+	for to := range view.zones {
+		for _, from := range c.observersToEvacuate(view, draft, to) {
+			candidatesByObserver[from] = append(candidatesByObserver[from], to)
 		}
 	}
-	went, kept := make([][]string, len(v.zones)), make([][]string, len(v.zones))
-	for from, accused := range all {
-		leaves := w.limitEvacuations(v, d, from, accused)
-		for _, to := range accused {
-			row := d.pair(v.zones[from], v.zones[to])
-			if !slices.Contains(leaves, to) {
-				kept[to] = append(kept[to], row.From)
+	evacuated, kept := make([][]string, len(view.zones)), make([][]string, len(view.zones))
+	for from, candidates := range candidatesByObserver {
+		allowed := c.limitEvacuations(view, draft, from, candidates)
+		for _, to := range candidates {
+			pair := draft.pair(view.zones[from], view.zones[to])
+			if !slices.Contains(allowed, to) {
+				kept[to] = append(kept[to], pair.From)
 				continue
 			}
-			fails := row.Failures + 1
-			if w.DisabledGuards.HoldDown {
-				fails = 1
+			failures := pair.Failures + 1
+			if c.DisabledGuards.HoldDown {
+				failures = 1
 			}
-			d.set(PairStatus{From: row.From, To: row.To, Status: Evacuating, Failures: fails})
-			went[to] = append(went[to], row.From)
+			draft.set(PairStatus{From: pair.From, To: pair.To, Status: Evacuating, Failures: failures})
+			evacuated[to] = append(evacuated[to], pair.From)
 		}
 	}
-	for to, z := range v.zones {
-		d.addReason(z, "serves nobody: left", went[to])
+	for to, zone := range view.zones {
+		draft.addReason(zone, "serves nobody: left", evacuated[to])
 	}
-	w.updateSuspects(v, d, kept)
+	c.updateSuspects(view, draft, kept)
 }
 
 // accusers are the zones that leave one now. The first to have seen it for long enough
 // takes along those that see it, those that are about to are waited for a little, and
 // those that can't tell follow where it fails for everybody.
-func (w *Controller) observersToEvacuate(v *fleetView, d *changeDraft, to int) (from []int) {
-	oldest, turning := w.cfg.ConfirmInterval-1, false
-	for a := range v.zones {
-		if !v.hasMembers[a] {
+func (c *Controller) observersToEvacuate(view *fleetView, draft *changeDraft, to int) (observers []int) {
+	longest, othersDegrading := c.cfg.ConfirmInterval-1, false
+	for observer := range view.zones {
+		if !view.hasMembers[observer] {
 			continue
 		}
-		p := v.pair(a, to)
-		t := w.heldFor(d.now, v.zones[a], v.zones[to], 'l', p.unavailable)
-		switch row := d.base.pair(v.zones[a], v.zones[to]); {
-		case row.Status.isEvacuated():
-		case p.unavailable:
-			from, oldest = append(from, a), max(oldest, t)
-		case p.known && p.failing >= 0.5:
-			turning = true
+		evidence := view.pair(observer, to)
+		unavailableFor := c.heldFor(draft.now, view.zones[observer], view.zones[to], 'l', evidence.unavailable)
+		switch pair := draft.base.pair(view.zones[observer], view.zones[to]); {
+		case pair.Status.isEvacuated():
+		case evidence.unavailable:
+			observers, longest = append(observers, observer), max(longest, unavailableFor)
+		case evidence.known && evidence.failing >= 0.5:
+			othersDegrading = true
 		}
 	}
-	if len(from) == 0 || oldest < w.cfg.ConfirmInterval || turning && oldest < 2*w.cfg.ConfirmInterval {
+	if len(observers) == 0 || longest < c.cfg.ConfirmInterval || othersDegrading && longest < 2*c.cfg.ConfirmInterval {
 		return nil
 	}
-	if v.failsForMost(to) {
-		for a := range v.zones {
-			p := v.pair(a, to)
-			if v.hasMembers[a] && !p.known && !p.unavailable && !d.base.pair(v.zones[a], v.zones[to]).Status.isEvacuated() {
-				from = append(from, a)
+	if view.failsForMost(to) {
+		for observer := range view.zones {
+			evidence := view.pair(observer, to)
+			if view.hasMembers[observer] && !evidence.known && !evidence.unavailable && !draft.base.pair(view.zones[observer], view.zones[to]).Status.isEvacuated() {
+				observers = append(observers, observer)
 			}
 		}
 	}
-	return from
+	return observers
 }
 
 // carried is the panic rule: of the zones that one would leave, those that it may, the
 // surest first, and never the last one.
-func (w *Controller) limitEvacuations(v *fleetView, d *changeDraft, from int, accused []int) []int {
-	if w.committed != nil {
-		accused = w.limitToOneUnit(v, d, from, accused)
+func (c *Controller) limitEvacuations(view *fleetView, draft *changeDraft, from int, candidates []int) []int {
+	if c.committed != nil {
+		candidates = c.limitToOneUnit(view, draft, from, candidates)
 	}
-	if w.DisabledGuards.PanicThreshold {
-		return accused
+	if c.DisabledGuards.PanicThreshold {
+		return candidates
 	}
-	surest := slices.Clone(accused)
+	surest := slices.Clone(candidates)
 	slices.SortFunc(surest, func(a, b int) int {
-		own := func(z int) int {
-			if z == from {
+		isOwnZone := func(zone int) int {
+			if zone == from {
 				return 1
 			}
 			return 0
 		}
-		return cmp.Or(cmp.Compare(v.unavailableCount(b), v.unavailableCount(a)), cmp.Compare(own(a), own(b)),
-			cmp.Compare(v.pair(from, b).failing, v.pair(from, a).failing), strings.Compare(v.zones[a], v.zones[b]))
+		return cmp.Or(cmp.Compare(view.unavailableCount(b), view.unavailableCount(a)), cmp.Compare(isOwnZone(a), isOwnZone(b)),
+			cmp.Compare(view.pair(from, b).failing, view.pair(from, a).failing), strings.Compare(view.zones[a], view.zones[b]))
 	})
-	room := w.cfg.maxEvacuatedZones(len(v.zones)) - d.base.evacuatedCount(v.zones[from])
+	remaining := c.cfg.maxEvacuatedZones(len(view.zones)) - draft.base.evacuatedCount(view.zones[from])
 	return slices.DeleteFunc(surest, func(to int) bool {
-		if d.base.pair(v.zones[from], v.zones[to]).Status == Recovering {
+		if draft.base.pair(view.zones[from], view.zones[to]).Status == Recovering {
 			return false // counted as left already
 		}
-		room--
-		return room < 0
+		remaining--
+		return remaining < 0
 	})
 }
 
@@ -111,27 +111,27 @@
 }
 
 // suspect names what the panic rule keeps, and takes the name back.
-func (w *Controller) updateSuspects(v *fleetView, d *changeDraft, kept [][]string) {
-	d.deferrable, d.deferrableAllowed = true, d.elapsedSince(d.lastChangeAt) >= w.cfg.StableInterval
-	defer func() { d.deferrable = false }()
-	for to, z := range v.zones {
-		var named []string
+func (c *Controller) updateSuspects(view *fleetView, draft *changeDraft, kept [][]string) {
+	draft.deferrable, draft.deferrableAllowed = true, draft.elapsedSince(draft.lastChangeAt) >= c.cfg.StableInterval
+	defer func() { draft.deferrable = false }()
+	for to, zone := range view.zones {
+		var suspecting []string
 		for _, from := range kept[to] {
-			if row := d.base.pair(from, z); row.Status == Active {
-				row.Status = Suspect
-				if d.set(row) {
-					named = append(named, from)
+			if pair := draft.base.pair(from, zone); pair.Status == Active {
+				pair.Status = Suspect
+				if draft.set(pair) {
+					suspecting = append(suspecting, from)
 				}
 			}
 		}
-		d.addReason(z, "serves nobody, and is kept for want of others", named)
+		draft.addReason(zone, "serves nobody, and is kept for want of others", suspecting)
 	}
-	for _, r := range d.base.Pairs {
-		is := r.Status == Suspect && !v.isUnavailable(r.From, r.To)
-		if w.heldFor(d.now, r.From, r.To, 's', is) >= w.cfg.StableInterval {
-			r.Status = Active
-			if d.set(r) {
-				d.addReason(r.To, "is suspect no more", []string{r.From})
+	for _, pair := range draft.base.Pairs {
+		recovered := pair.Status == Suspect && !view.isUnavailable(pair.From, pair.To)
+		if c.heldFor(draft.now, pair.From, pair.To, 's', recovered) >= c.cfg.StableInterval {
+			pair.Status = Active
+			if draft.set(pair) {
+				draft.addReason(pair.To, "is suspect no more", []string{pair.From})
 			}
 		}
 	}
@@ -139,7 +139,7 @@
 
 // lost tells whether a zone has lost another, by names.
 func (v *fleetView) isUnavailable(from, to string) bool {
-	a, okA := slices.BinarySearch(v.zones, from)
-	b, okB := slices.BinarySearch(v.zones, to)
-	return okA && okB && v.pair(a, b).unavailable
+	fromIndex, fromKnown := slices.BinarySearch(v.zones, from)
+	toIndex, toKnown := slices.BinarySearch(v.zones, to)
+	return fromKnown && toKnown && v.pair(fromIndex, toIndex).unavailable
 }
--- a/internal/fleet/zonestatus/model_test.go
+++ b/internal/fleet/zonestatus/model_test.go
@@ -36,31 +36,31 @@
 // comes back to open, with nothing refused, within 45 s.
 func TestInvariantsForAllFaultSequences(t *testing.T) {
 	t.Parallel()
-	var all []string
+	var scripts []string
 	for a := range faultPatterns {
 		for b := range faultPatterns {
 			for c := range faultPatterns {
-				all = append(all, string([]byte{a, b, c}))
+				scripts = append(scripts, string([]byte{a, b, c}))
 			}
 		}
 	}
-	for _, script := range all {
-		w := newTestFleet(t, 3, 2)
+	for _, script := range scripts {
+		fleet := newTestFleet(t, 3, 2)
 		play := func(symbol byte, d time.Duration) {
 			see := faultPatterns[symbol]
-			w.isSilent = func(string) bool { return see == nil }
-			w.failing = func(from, to string, _ int) float64 { return see(from, to) }
-			for end := w.now + d; w.now < end; {
-				before := w.state
-				w.step(250 * time.Millisecond)
-				for _, r := range w.state.Pairs {
+			fleet.isSilent = func(string) bool { return see == nil }
+			fleet.failing = func(from, to string, _ int) float64 { return see(from, to) }
+			for end := fleet.now + d; fleet.now < end; {
+				before := fleet.state
+				fleet.step(250 * time.Millisecond)
+				for _, r := range fleet.state.Pairs {
 					old := before.pair(r.From, r.To)
 					if r.Status == Evacuating && old.Status != Evacuating && (see == nil || see(r.From, r.To) < 1 || symbol == 'i' && r.From == "a") {
 						t.Fatalf("%s, at %c: %s leaves %s", script, symbol, r.From, r.To)
 					}
 				}
-				for _, z := range w.zones {
-					if n := w.state.evacuatedCount(z); n > w.cfg.maxEvacuatedZones(3) || n > 2 {
+				for _, z := range fleet.zones {
+					if n := fleet.state.evacuatedCount(z); n > fleet.cfg.maxEvacuatedZones(3) || n > 2 {
 						t.Fatalf("%s: %s has left %d", script, z, n)
 					}
 				}
@@ -69,11 +69,11 @@
 		for i := range script {
 			play(script[i], 2500*time.Millisecond)
 		}
-		for end := w.now + 45*time.Second; w.now < end && (describe(w.state) != "" || w.state.Shed != 0); {
+		for end := fleet.now + 45*time.Second; fleet.now < end && (describe(fleet.state) != "" || fleet.state.Shed != 0); {
 			play('.', 2500*time.Millisecond)
 		}
-		if got := describe(w.state); got != "" || w.state.Shed != 0 {
-			t.Fatalf("%s: in the end %s, %.2f over\n%s", script, got, w.state.Shed, strings.Join(w.log, "\n"))
+		if got := describe(fleet.state); got != "" || fleet.state.Shed != 0 {
+			t.Fatalf("%s: in the end %s, %.2f over\n%s", script, got, fleet.state.Shed, strings.Join(fleet.log, "\n"))
 		}
 	}
 }
@@ -84,20 +84,20 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		loss := rapid.Float64Range(0, 0.6).Draw(rt, "loss")
-		w := newTestFleet(t, rapid.IntRange(2, 6).Draw(rt, "zones"), rapid.IntRange(3, 6).Draw(rt, "members"))
+		fleet := newTestFleet(t, rapid.IntRange(2, 6).Draw(rt, "zones"), rapid.IntRange(3, 6).Draw(rt, "members"))
 		liar := rapid.IntRange(0, 5).Draw(rt, "liar")
-		w.failing = func(_, _ string, m int) float64 { return indicator(m == liar && rng.Float64() < 0.8) }
-		w.isSilent = func(string) bool { return rng.Float64() < loss }
+		fleet.failing = func(_, _ string, m int) float64 { return indicator(m == liar && rng.Float64() < 0.8) }
+		fleet.isSilent = func(string) bool { return rng.Float64() < loss }
 		for range 60 {
-			w.now += 100 * time.Millisecond
-			members := w.members()
+			fleet.now += 100 * time.Millisecond
+			members := fleet.members()
 			for i := range members { // but two of each stay
-				members[i].Alive = i%w.membersPerZone < 2 || rng.Float64() > loss
+				members[i].Alive = i%fleet.membersPerZone < 2 || rng.Float64() > loss
 			}
-			if c, why, ok := w.controller.Evaluate(w.now, w.state, w.reports(), members); ok {
-				for _, r := range c.Set {
+			if change, reason, ok := fleet.controller.Evaluate(fleet.now, fleet.state, fleet.reports(), members); ok {
+				for _, r := range change.Set {
 					if r.Status.isEvacuated() {
-						rt.Fatalf("%s", why)
+						rt.Fatalf("%s", reason)
 					}
 				}
 			}
@@ -115,26 +115,26 @@
 		guard  string
 		ignore Guards
 		bad    func(from, to string, m int) float64
-		seen   func(w *testFleet) bool
+		seen   func(fleet *testFleet) bool
 	}{
-		{"panic", Guards{PanicThreshold: true}, of('*'), func(w *testFleet) bool { return w.rejected > 0 }},
-		{"accuse", Guards{ReporterConnectivity: true}, of('i'), func(w *testFleet) bool { return w.state.pair("a", "c").Status == Evacuated }},
-		{"viewpoint", Guards{ObservingZone: true}, of('l'), func(w *testFleet) bool { return w.state.pair("c", "b").Status == Evacuated }},
-		{"quorum", Guards{Quorum: true}, liar, func(w *testFleet) bool { return w.state.pair("c", "b").Status == Evacuated }},
-		{"return", Guards{RecoveryRamp: true}, of('b'), func(w *testFleet) bool {
-			w.fail(0, "b")
-			w.run(time.Second)
-			return w.state.pair("c", "b").Status == Active
+		{"panic", Guards{PanicThreshold: true}, of('*'), func(fleet *testFleet) bool { return fleet.rejected > 0 }},
+		{"accuse", Guards{ReporterConnectivity: true}, of('i'), func(fleet *testFleet) bool { return fleet.state.pair("a", "c").Status == Evacuated }},
+		{"viewpoint", Guards{ObservingZone: true}, of('l'), func(fleet *testFleet) bool { return fleet.state.pair("c", "b").Status == Evacuated }},
+		{"quorum", Guards{Quorum: true}, liar, func(fleet *testFleet) bool { return fleet.state.pair("c", "b").Status == Evacuated }},
+		{"return", Guards{RecoveryRamp: true}, of('b'), func(fleet *testFleet) bool {
+			fleet.fail(0, "b")
+			fleet.run(time.Second)
+			return fleet.state.pair("c", "b").Status == Active
 		}},
 	} {
-		for _, out := range []bool{false, true} {
-			w := newTestFleet(t, 3, 3)
-			if w.failing = tt.bad; out {
-				w.controller.DisabledGuards = tt.ignore
+		for _, disabled := range []bool{false, true} {
+			fleet := newTestFleet(t, 3, 3)
+			if fleet.failing = tt.bad; disabled {
+				fleet.controller.DisabledGuards = tt.ignore
 			}
-			w.run(3 * time.Second)
-			if tt.seen(w) != out {
-				t.Errorf("%s, taken out %v: %s, %d refused", tt.guard, out, describe(w.state), w.rejected)
+			fleet.run(3 * time.Second)
+			if tt.seen(fleet) != disabled {
+				t.Errorf("%s, taken out %v: %s, %d refused", tt.guard, disabled, describe(fleet.state), fleet.rejected)
 			}
 		}
 	}
@@ -144,12 +144,12 @@
 // bounded, the panic rule holds at each version, and all is open in the end.
 func TestHourOfFaultsInLargeFleet(t *testing.T) {
 	t.Parallel()
-	w := newTestFleet(t, 12, 25)
+	fleet := newTestFleet(t, 12, 25)
 	lost, half := map[string]bool{}, map[string]bool{}
-	w.failing = func(_, to string, _ int) float64 { return max(indicator(lost[to]), indicator(half[to])/2) }
+	fleet.failing = func(_, to string, _ int) float64 { return max(indicator(lost[to]), indicator(half[to])/2) }
 	rng, begin, leaves, most := rand.New(rand.NewPCG(29, 1)), 0, map[string]int{}, 0
 	for second := range 3600 {
-		w.load = 0.3 + 0.25*float64(second%1200)/1200
+		fleet.load = 0.3 + 0.25*float64(second%1200)/1200
 		if second%5 == 0 && second < 3000 {
 			lost["c"] = second/600%2 == 1 && second/5%2 == 0 // flaps for ten minutes, twice
 			lost["d"] = second/120%5 == 1
@@ -160,36 +160,36 @@
 			clear(lost)
 			clear(half)
 		}
-		before := w.state
-		w.step(time.Second)
-		for _, z := range w.zones {
-			if n := w.state.evacuatedCount(z); n > w.cfg.maxEvacuatedZones(12) {
+		before := fleet.state
+		fleet.step(time.Second)
+		for _, z := range fleet.zones {
+			if n := fleet.state.evacuatedCount(z); n > fleet.cfg.maxEvacuatedZones(12) {
 				t.Fatalf("second %d: %s has left %d", second, z, n)
 			}
-			if w.state.pair("a", z).Status == Evacuating && before.pair("a", z).Status != Evacuating {
+			if fleet.state.pair("a", z).Status == Evacuating && before.pair("a", z).Status != Evacuating {
 				leaves[z]++
 			}
 		}
 		if second%60 == 59 {
-			most, begin = max(most, w.changes-begin), w.changes
+			most, begin = max(most, fleet.changes-begin), fleet.changes
 		}
 	}
-	if most > 30 || leaves["c"] > 16 || leaves["d"] > 5 || leaves["a"]+leaves["f"]+leaves["g"] > 0 || describe(w.state) != "" || w.state.Shed != 0 {
-		t.Errorf("%d changes a minute, left %v, in the end %s\n%s", most, leaves, describe(w.state), strings.Join(w.log, "\n"))
+	if most > 30 || leaves["c"] > 16 || leaves["d"] > 5 || leaves["a"]+leaves["f"]+leaves["g"] > 0 || describe(fleet.state) != "" || fleet.state.Shed != 0 {
+		t.Errorf("%d changes a minute, left %v, in the end %s\n%s", most, leaves, describe(fleet.state), strings.Join(fleet.log, "\n"))
 	}
-	t.Logf("%d changes, %d in the busiest minute, leaves %v", w.changes, most, leaves)
+	t.Logf("%d changes, %d in the busiest minute, leaves %v", fleet.changes, most, leaves)
 }
 
 func BenchmarkStep(b *testing.B) {
-	for _, per := range []int{1, 25} {
-		b.Run(fmt.Sprint(12*per, " members"), func(b *testing.B) {
-			w := newTestFleet(b, 12, per)
-			w.fail(1, "b")
-			w.run(5 * time.Second)
-			words, members := w.reports(), w.members()
+	for _, membersPerZone := range []int{1, 25} {
+		b.Run(fmt.Sprint(12*membersPerZone, " members"), func(b *testing.B) {
+			fleet := newTestFleet(b, 12, membersPerZone)
+			fleet.fail(1, "b")
+			fleet.run(5 * time.Second)
+			reports, members := fleet.reports(), fleet.members()
 			b.ReportAllocs()
 			for b.Loop() {
-				w.controller.Evaluate(w.now, w.state, words, members)
+				fleet.controller.Evaluate(fleet.now, fleet.state, reports, members)
 			}
 		})
 	}
--- a/internal/fleet/zonestatus/state_test.go
+++ b/internal/fleet/zonestatus/state_test.go
@@ -17,21 +17,21 @@
 		{From: "a", To: "b", Status: HeldBack, ChangedAt: 1000, HeldUntil: 9000, Failures: 2},
 		{From: "a", To: "c", Status: Recovering, Step: 2, Share: 0.15, Rate: 9, ChangedAt: 1000, Failures: 1},
 	}}
-	leave := func(from, to string) PairStatus {
+	evacuate := func(from, to string) PairStatus {
 		return PairStatus{From: from, To: to, Status: Evacuating, Failures: 1, ChangedAt: 2000}
 	}
 	for _, tt := range []struct {
 		name, err string
 		set       []PairStatus
-		change    func(c *Change)
+		change    func(change *Change)
 	}{
-		{"one more is left elsewhere", "", []PairStatus{leave("b", "c"), leave("c", "c")}, nil},
+		{"one more is left elsewhere", "", []PairStatus{evacuate("b", "c"), evacuate("c", "c")}, nil},
 		{"up a step", "", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 3, Share: 0.35, Rate: 9, ChangedAt: 3000, Failures: 1}}, nil},
 		{"the hold is over", "", []PairStatus{{From: "a", To: "b", Status: Recovering, Step: 1, Share: 0.05, Rate: 9, ChangedAt: 9000, Failures: 2}}, nil},
-		{"another base", "decided on version 6", []PairStatus{leave("b", "c")}, func(c *Change) { c.BaseVersion = 6 }},
+		{"another base", "decided on version 6", []PairStatus{evacuate("b", "c")}, func(change *Change) { change.BaseVersion = 6 }},
 		{"nothing", "changes nothing", nil, nil},
-		{"the third of four", "left 3 of 4 zones, at most 2", []PairStatus{leave("a", "d")}, nil},
-		{"three at once", "left 3 of 4 zones", []PairStatus{leave("b", "a"), leave("b", "c"), leave("b", "d")}, nil},
+		{"the third of four", "left 3 of 4 zones, at most 2", []PairStatus{evacuate("a", "d")}, nil},
+		{"three at once", "left 3 of 4 zones", []PairStatus{evacuate("b", "a"), evacuate("b", "c"), evacuate("b", "d")}, nil},
 		{"two steps up", "step 4 can't follow step 2", []PairStatus{{From: "a", To: "c", Status: Recovering, Step: 4, Share: 0.7, Rate: 9, Failures: 1}}, nil},
 		{"all at once", "one step after step 2", []PairStatus{{From: "a", To: "c", Share: 1, Failures: 1}}, nil},
 		{"open from held", "open can't follow held", []PairStatus{{From: "a", To: "b", Share: 1}}, nil},
@@ -42,18 +42,18 @@
 		{"open with nothing", "share 0, but it is open", []PairStatus{{From: "b", To: "c"}}, nil},
 		{"left and yet sent to", "share 1, but it is leaving", []PairStatus{{From: "b", To: "c", Status: Evacuating, Share: 1, Failures: 1}}, nil},
 		{"unknown posture", "posture 9 is not known", []PairStatus{{From: "b", To: "c", Status: 9}}, nil},
-		{"out of order", "out of order", []PairStatus{leave("c", "c"), leave("b", "c")}, nil},
-		{"a stranger", "not among the change's zones", []PairStatus{leave("b", "e")}, nil},
-		{"strangers to make it look few", "none of fleet.zones.zones", []PairStatus{leave("b", "c")}, func(c *Change) { c.Zones = append(zones[:4:4], "e") }},
-		{"a zone that is named is not listed", "not among", []PairStatus{leave("b", "d")}, func(c *Change) { c.Zones = []string{"b", "c", "d"} }},
-		{"no share at all", "over 1 is outside", []PairStatus{leave("b", "c")}, func(c *Change) { c.Shed = 1 }},
+		{"out of order", "out of order", []PairStatus{evacuate("c", "c"), evacuate("b", "c")}, nil},
+		{"a stranger", "not among the change's zones", []PairStatus{evacuate("b", "e")}, nil},
+		{"strangers to make it look few", "none of fleet.zones.zones", []PairStatus{evacuate("b", "c")}, func(change *Change) { change.Zones = append(zones[:4:4], "e") }},
+		{"a zone that is named is not listed", "not among", []PairStatus{evacuate("b", "d")}, func(change *Change) { change.Zones = []string{"b", "c", "d"} }},
+		{"no share at all", "over 1 is outside", []PairStatus{evacuate("b", "c")}, func(change *Change) { change.Shed = 1 }},
 	} {
-		c := Change{BaseVersion: 7, Zones: zones, Set: tt.set}
+		change := Change{BaseVersion: 7, Zones: zones, Set: tt.set}
 		if tt.change != nil {
-			tt.change(&c)
+			tt.change(&change)
 		}
 		before := base.TrafficLimits("a")
-		next, err := base.Apply(cfg, c)
+		next, err := base.Apply(cfg, change)
 		switch {
 		case tt.err == "" && (err != nil || next.Version != 8):
 			t.Errorf("%s: version %d, %v", tt.name, next.Version, err)
@@ -106,34 +106,34 @@
 		{"hardly anybody", Guards{}, "bcde", "b"},
 		{"hardly anybody, believed", Guards{ReporterConnectivity: true}, "bcde", "bc"},
 	} {
-		w := newTestFleet(t, 5, 1)
-		w.state = record
-		w.failing = func(_, to string, _ int) float64 { return indicator(strings.Contains(tt.lost, to)) }
-		alone := NewIsolatedController(w.cfg)
-		alone.DisabledGuards = tt.guards
-		left := func(d time.Duration, s State) (names string) {
-			var all []TrafficLimit
-			for end := w.now + d; w.now < end; {
-				w.now += 100 * time.Millisecond
-				all = alone.Evaluate(w.now, s, w.report(Member{Name: "a0", Zone: "a"}))
+		fleet := newTestFleet(t, 5, 1)
+		fleet.state = record
+		fleet.failing = func(_, to string, _ int) float64 { return indicator(strings.Contains(tt.lost, to)) }
+		controller := NewIsolatedController(fleet.cfg)
+		controller.DisabledGuards = tt.guards
+		evacuatedAfter := func(d time.Duration, s State) (names string) {
+			var limits []TrafficLimit
+			for end := fleet.now + d; fleet.now < end; {
+				fleet.now += 100 * time.Millisecond
+				limits = controller.Evaluate(fleet.now, s, fleet.report(Member{Name: "a0", Zone: "a"}))
 			}
-			for _, b := range all {
+			for _, b := range limits {
 				if b.Share == 0 {
 					names += b.Zone
 				}
 			}
 			return names
 		}
-		if got := left(3*time.Second, record); got != tt.want {
+		if got := evacuatedAfter(3*time.Second, record); got != tt.want {
 			t.Errorf("%s: left %s, want %s", tt.name, got, tt.want)
 		}
 		heard := record
 		heard.Version++
-		if got := left(100*time.Millisecond, heard); got != "b" {
+		if got := evacuatedAfter(100*time.Millisecond, heard); got != "b" {
 			t.Errorf("%s: left %s once it hears", tt.name, got)
 		}
-		w.failing = func(string, string, int) float64 { return 0 }
-		if got := left(30*time.Second, record); got != "b" {
+		fleet.failing = func(string, string, int) float64 { return 0 }
+		if got := evacuatedAfter(30*time.Second, record); got != "b" {
 			t.Errorf("%s: left %s after all is well", tt.name, got)
 		}
 	}
--- a/internal/fleet/zonestatus/watch.go
+++ b/internal/fleet/zonestatus/watch.go
@@ -38,52 +38,52 @@
 }
 
 // held tells for how long a thing has been so; negative if it is not.
-func (w *Controller) heldFor(now time.Duration, from, to string, what byte, is bool) time.Duration {
-	k := condition{from, to, what}
-	if !is {
-		delete(w.conditions, k)
+func (c *Controller) heldFor(now time.Duration, from, to string, kind byte, holds bool) time.Duration {
+	key := condition{from, to, kind}
+	if !holds {
+		delete(c.conditions, key)
 		return -1
 	}
-	m, ok := w.conditions[k]
-	if !ok || now-m.lastSeenAt > w.cfg.ReportTTL {
-		m.startedAt = now
+	span, ok := c.conditions[key]
+	if !ok || now-span.lastSeenAt > c.cfg.ReportTTL {
+		span.startedAt = now
 	}
-	m.lastSeenAt = now
-	w.conditions[k] = m
-	return now - m.startedAt
+	span.lastSeenAt = now
+	c.conditions[key] = span
+	return now - span.startedAt
 }
 
 // Step decides the next change, if there is one, and why. now is Unix time. words are all
 // that gossip has brought, of any age.
-func (w *Controller) Evaluate(now time.Duration, s State, words []Report, members []Member) (c Change, why string, ok bool) {
-	v := newFleetView(w.cfg, w.DisabledGuards, now, s, words, members)
-	if w.shedChangedAt == 0 {
-		w.shedChangedAt = now
+func (c *Controller) Evaluate(now time.Duration, state State, reports []Report, members []Member) (change Change, reason string, ok bool) {
+	view := newFleetView(c.cfg, c.DisabledGuards, now, state, reports, members)
+	if c.shedChangedAt == 0 {
+		c.shedChangedAt = now
 	}
-	d := &changeDraft{now: now, base: s, shed: s.Shed, changed: map[[2]string]PairStatus{}}
-	for _, r := range s.Pairs {
-		d.lastChangeAt = max(d.lastChangeAt, r.ChangedAt)
+	draft := &changeDraft{now: now, base: state, shed: state.Shed, changed: map[[2]string]PairStatus{}}
+	for _, pair := range state.Pairs {
+		draft.lastChangeAt = max(draft.lastChangeAt, pair.ChangedAt)
 	}
-	w.evacuate(v, d)
-	w.finishEvacuations(d)
-	w.computeShed(v, d)
+	c.evacuate(view, draft)
+	c.finishEvacuations(draft)
+	c.computeShed(view, draft)
 	// All that can wait goes together, so that the record has few changes.
-	d.deferrable = true
-	d.deferrableAllowed = d.elapsedSince(d.lastChangeAt) >= w.cfg.StableInterval || w.DisabledGuards.RecoveryRamp
-	w.startRecoveries(v, d)
-	w.advanceRecoveries(v, d)
-	w.limitPartialFailures(v, d)
-	w.resetFailures(d)
-	w.relaxShed(v, d)
-	maps.DeleteFunc(w.conditions, func(_ condition, m conditionSpan) bool { return m.lastSeenAt < now })
-	if len(d.changed) == 0 && d.shed == s.Shed || len(v.zones) == 0 || w.sentVersion == s.Version+1 && now-w.sentAt < proposalTimeout {
+	draft.deferrable = true
+	draft.deferrableAllowed = draft.elapsedSince(draft.lastChangeAt) >= c.cfg.StableInterval || c.DisabledGuards.RecoveryRamp
+	c.startRecoveries(view, draft)
+	c.advanceRecoveries(view, draft)
+	c.limitPartialFailures(view, draft)
+	c.resetFailures(draft)
+	c.relaxShed(view, draft)
+	maps.DeleteFunc(c.conditions, func(_ condition, span conditionSpan) bool { return span.lastSeenAt < now })
+	if len(draft.changed) == 0 && draft.shed == state.Shed || len(view.zones) == 0 || c.sentVersion == state.Version+1 && now-c.sentAt < proposalTimeout {
 		return Change{}, "", false
 	}
-	w.sentVersion, w.sentAt = s.Version+1, now
-	if d.shed != s.Shed {
-		w.shedChangedAt = now
+	c.sentVersion, c.sentAt = state.Version+1, now
+	if draft.shed != state.Shed {
+		c.shedChangedAt = now
 	}
-	return Change{BaseVersion: s.Version, Set: d.changedPairs(), Zones: v.zones, Shed: d.shed}, strings.Join(d.reasons, "; "), true
+	return Change{BaseVersion: state.Version, Set: draft.changedPairs(), Zones: view.zones, Shed: draft.shed}, strings.Join(draft.reasons, "; "), true
 }
 
 // draft is a change that is being made.
@@ -98,25 +98,25 @@
 }
 
 // age is how long ago a row was set. Another leader's clock may have been ahead.
-func (d *changeDraft) elapsedSince(since int64) time.Duration {
-	return d.now - time.Duration(since)*time.Millisecond
+func (d *changeDraft) elapsedSince(unixMs int64) time.Duration {
+	return d.now - time.Duration(unixMs)*time.Millisecond
 }
 
 // seen returns a row as it will be.
 func (d *changeDraft) pair(from, to string) PairStatus {
-	if r, ok := d.changed[[2]string{from, to}]; ok {
-		return r
+	if pair, ok := d.changed[[2]string{from, to}]; ok {
+		return pair
 	}
 	return d.base.pair(from, to)
 }
 
 // put sets a row. What can wait is dropped while it has to.
-func (d *changeDraft) set(r PairStatus) bool {
+func (d *changeDraft) set(pair PairStatus) bool {
 	if d.deferrable && !d.deferrableAllowed {
 		return false
 	}
-	r.ChangedAt = d.now.Milliseconds()
-	d.changed[[2]string{r.From, r.To}] = r
+	pair.ChangedAt = d.now.Milliseconds()
+	d.changed[[2]string{pair.From, pair.To}] = pair
 	return true
 }
 
@@ -137,31 +137,31 @@
 }
 
 // settle ends Leaving once all have heard: what has failed before is held.
-func (w *Controller) finishEvacuations(d *changeDraft) {
-	var left []string
-	for _, r := range d.base.Pairs {
-		if r.Status != Evacuating || d.elapsedSince(r.ChangedAt) < w.cfg.EvacuationTimeout {
+func (c *Controller) finishEvacuations(draft *changeDraft) {
+	var evacuated []string
+	for _, pair := range draft.base.Pairs {
+		if pair.Status != Evacuating || draft.elapsedSince(pair.ChangedAt) < c.cfg.EvacuationTimeout {
 			continue
 		}
-		next := PairStatus{From: r.From, To: r.To, Status: Evacuated, Failures: r.Failures}
-		if hold := w.cfg.holdInterval(r.Failures); hold > 0 {
-			next.Status, next.HeldUntil = HeldBack, (d.now + hold).Milliseconds()
+		next := PairStatus{From: pair.From, To: pair.To, Status: Evacuated, Failures: pair.Failures}
+		if hold := c.cfg.holdInterval(pair.Failures); hold > 0 {
+			next.Status, next.HeldUntil = HeldBack, (draft.now + hold).Milliseconds()
 		}
-		if d.set(next) {
-			left = append(left, r.From+" to "+r.To)
+		if draft.set(next) {
+			evacuated = append(evacuated, pair.From+" to "+pair.To)
 		}
 	}
-	if len(left) > 0 {
-		d.reasons = append(d.reasons, "left by all: "+strings.Join(left, ", "))
+	if len(evacuated) > 0 {
+		draft.reasons = append(draft.reasons, "left by all: "+strings.Join(evacuated, ", "))
 	}
 }
 
 // quiet forgets failures, and that a zone was suspect.
-func (w *Controller) resetFailures(d *changeDraft) {
-	for _, r := range d.base.Pairs {
-		if r.Status == Active && r.Share == 1 && d.elapsedSince(r.ChangedAt) >= w.cfg.FailureResetInterval && d.pair(r.From, r.To) == r {
-			if d.set(PairStatus{From: r.From, To: r.To, Share: 1}) {
-				d.addReason(r.To, "has been quiet", []string{r.From})
+func (c *Controller) resetFailures(draft *changeDraft) {
+	for _, pair := range draft.base.Pairs {
+		if pair.Status == Active && pair.Share == 1 && draft.elapsedSince(pair.ChangedAt) >= c.cfg.FailureResetInterval && draft.pair(pair.From, pair.To) == pair {
+			if draft.set(PairStatus{From: pair.From, To: pair.To, Share: 1}) {
+				draft.addReason(pair.To, "has been quiet", []string{pair.From})
 			}
 		}
 	}
--- a/internal/fleet/zonestatus/world_test.go
+++ b/internal/fleet/zonestatus/world_test.go
@@ -31,91 +31,91 @@
 	cachedMembers  []Member
 }
 
-func newTestFleet(t testing.TB, zones, per int) *testFleet {
-	w := &testFleet{t: t, cfg: DefaultConfig(), now: startTime, membersPerZone: per, endpoints: 4, load: 0.3,
+func newTestFleet(t testing.TB, zones, membersPerZone int) *testFleet {
+	fleet := &testFleet{t: t, cfg: DefaultConfig(), now: startTime, membersPerZone: membersPerZone, endpoints: 4, load: 0.3,
 		failing: func(string, string, int) float64 { return 0 }, isSilent: func(string) bool { return false }}
 	for i := range zones {
-		w.zones = append(w.zones, string(rune('a'+i)))
+		fleet.zones = append(fleet.zones, string(rune('a'+i)))
 	}
-	w.controller = NewController(w.cfg)
-	return w
+	fleet.controller = NewController(fleet.cfg)
+	return fleet
 }
 
-func (w *testFleet) members() (all []Member) {
-	if len(w.cachedMembers) == w.membersPerZone*len(w.zones) {
-		return slices.Clone(w.cachedMembers)
+func (f *testFleet) members() (all []Member) {
+	if len(f.cachedMembers) == f.membersPerZone*len(f.zones) {
+		return slices.Clone(f.cachedMembers)
 	}
-	for _, z := range w.zones {
-		for i := range w.membersPerZone {
+	for _, z := range f.zones {
+		for i := range f.membersPerZone {
 			all = append(all, Member{Name: fmt.Sprint(z, i), Zone: z, Alive: true})
 		}
 	}
-	w.cachedMembers = all
+	f.cachedMembers = all
 	return slices.Clone(all)
 }
 
-func (w *testFleet) reports() (all []Report) {
-	for _, m := range w.members() {
-		if !w.isSilent(m.Name) {
-			all = append(all, w.report(m))
+func (f *testFleet) reports() (all []Report) {
+	for _, m := range f.members() {
+		if !f.isSilent(m.Name) {
+			all = append(all, f.report(m))
 		}
 	}
 	return all
 }
 
-func (w *testFleet) report(m Member) Report {
-	word := Report{Member: m.Name, Zone: m.Zone, ReportedAt: w.now - 100*time.Millisecond}
-	for _, to := range w.zones {
-		share := w.failing(m.Zone, to, int(m.Name[len(m.Name)-1]-'0'))
-		s := Observation{Zone: to, Endpoints: w.endpoints, Failing: int(share * float64(w.endpoints)), Attempts: 10, FailedAttempts: 10 * share, Load: w.load, WarmingUp: w.warmingUp}
-		if w.state.pair(m.Zone, to).Status.isEvacuated() && share < 1 {
-			s.Attempts = 0 // answered probes leave no trace
+func (f *testFleet) report(member Member) Report {
+	report := Report{Member: member.Name, Zone: member.Zone, ReportedAt: f.now - 100*time.Millisecond}
+	for _, to := range f.zones {
+		share := f.failing(member.Zone, to, int(member.Name[len(member.Name)-1]-'0'))
+		observation := Observation{Zone: to, Endpoints: f.endpoints, Failing: int(share * float64(f.endpoints)), Attempts: 10, FailedAttempts: 10 * share, Load: f.load, WarmingUp: f.warmingUp}
+		if f.state.pair(member.Zone, to).Status.isEvacuated() && share < 1 {
+			observation.Attempts = 0 // answered probes leave no trace
 		}
-		word.Observations = append(word.Observations, s)
+		report.Observations = append(report.Observations, observation)
 	}
-	return word
+	return report
 }
 
-func (w *testFleet) step(dt time.Duration) {
-	w.now += dt
-	c, why, ok := w.controller.Evaluate(w.now, w.state, w.reports(), w.members())
+func (f *testFleet) step(dt time.Duration) {
+	f.now += dt
+	change, reason, ok := f.controller.Evaluate(f.now, f.state, f.reports(), f.members())
 	if !ok {
 		return
 	}
-	next, err := w.state.Apply(w.cfg, c)
+	next, err := f.state.Apply(f.cfg, change)
 	if err != nil {
-		if w.rejected++; w.controller.DisabledGuards == (Guards{}) {
-			w.t.Fatalf("%.1f s: %s: %v", (w.now - startTime).Seconds(), why, err)
+		if f.rejected++; f.controller.DisabledGuards == (Guards{}) {
+			f.t.Fatalf("%.1f s: %s: %v", (f.now - startTime).Seconds(), reason, err)
 		}
 		return
 	}
-	w.changes++
-	w.state = next
-	w.log = append(w.log, fmt.Sprintf("%.1f %s", (w.now-startTime).Seconds(), why))
+	f.changes++
+	f.state = next
+	f.log = append(f.log, fmt.Sprintf("%.1f %s", (f.now-startTime).Seconds(), reason))
 }
 
-func (w *testFleet) run(d time.Duration) {
-	for end := w.now + d; w.now < end; {
-		w.step(100 * time.Millisecond)
+func (f *testFleet) run(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.step(100 * time.Millisecond)
 	}
 }
 
 // dead makes zones' servers fail by a share for everybody.
-func (w *testFleet) fail(share float64, zones ...string) {
-	w.failing = func(_, to string, _ int) float64 { return share * indicator(slices.Contains(zones, to)) }
+func (f *testFleet) fail(fraction float64, zones ...string) {
+	f.failing = func(_, to string, _ int) float64 { return fraction * indicator(slices.Contains(zones, to)) }
 }
 
 // rows writes the state as from>to:posture, with shares that are not whole.
 func describe(s State) string {
-	var all []string
-	for _, r := range s.Pairs {
-		word := fmt.Sprintf("%s>%s:%v", r.From, r.To, r.Status)
-		if !r.Status.isEvacuated() && r.Share < 1 {
-			word += fmt.Sprintf(" %.2f", r.Share)
+	var parts []string
+	for _, pair := range s.Pairs {
+		text := fmt.Sprintf("%s>%s:%v", pair.From, pair.To, pair.Status)
+		if !pair.Status.isEvacuated() && pair.Share < 1 {
+			text += fmt.Sprintf(" %.2f", pair.Share)
 		}
-		if r.Status != Active || r.Share < 1 {
-			all = append(all, word)
+		if pair.Status != Active || pair.Share < 1 {
+			parts = append(parts, text)
 		}
 	}
-	return strings.Join(all, ", ")
+	return strings.Join(parts, ", ")
 }
