--- a/internal/proxy/crossing_test.go
+++ b/internal/proxy/crossing_test.go
@@ -15,71 +15,71 @@
 
 // A next hop that says more than a line may have, or never ends its line, was broken off
 // by a reset without MOVE, although it still answered.
-func TestEndlessLineMoves(t *testing.T) {
-	b := start(t)
-	b.up(t)
-	say(t, b.hop, "whole\r\n"+strings.Repeat("x", bufconn.BufferSize+1))
-	b.expect(t, b.fromNode, "whole\r\n")
-	b.expect(t, b.fromNode, "MOVE\r\n")
-	if how := wait(t, b.ended); how != balance.Reset {
+func TestOversizedUpstreamLineMigratesClient(t *testing.T) {
+	b := startSession(t)
+	b.establish(t)
+	write(t, b.upstream, "whole\r\n"+strings.Repeat("x", bufconn.BufferSize+1))
+	b.expectLine(t, b.clientReader, "whole\r\n")
+	b.expectLine(t, b.clientReader, "MOVE\r\n")
+	if how := receive(t, b.ended); how != balance.Reset {
 		t.Errorf("ended as %v, want Reset", how)
 	}
-	b.caller.Close()
-	wait(t, b.finished)
+	b.client.Close()
+	receive(t, b.finished)
 }
 
 // What a next hop has on its way when its caller is moved, half a line, does not reset it:
 // the caller's last line is read and its end seen, and there is one MOVE.
-func TestHalfALineAtTheMove(t *testing.T) {
+func TestPartialUpstreamLineDuringMigration(t *testing.T) {
 	for name, says := range map[string]string{"we move": "", "both say it": "MOVE\r\n"} {
 		t.Run(name, func(t *testing.T) {
-			b := start(t)
-			b.up(t)
-			say(t, b.caller, "last\r\n")
-			b.expect(t, b.fromCaller, "last\r\n")
-			say(t, b.hop, says)
+			b := startSession(t)
+			b.establish(t)
+			write(t, b.client, "last\r\n")
+			b.expectLine(t, b.upstreamReader, "last\r\n")
+			write(t, b.upstream, says)
 			if says != "" {
-				b.expect(t, b.fromNode, says)
+				b.expectLine(t, b.clientReader, says)
 			}
-			b.t.Migrate()
+			b.session.Migrate()
 			if says == "" {
-				b.expect(t, b.fromNode, "MOVE\r\n")
+				b.expectLine(t, b.clientReader, "MOVE\r\n")
 			}
 			for i := range 3 { // the first would tell that nobody reads any more, the next would fail
-				if _, err := fmt.Fprintf(b.hop, "half a line %d", i); err != nil && says == "" {
+				if _, err := fmt.Fprintf(b.upstream, "half a line %d", i); err != nil && says == "" {
 					t.Errorf("piece %d: %v", i, err)
 				}
 			}
-			b.expect(t, b.fromNode, "")   // the end, and no second MOVE
-			b.expect(t, b.fromCaller, "") // the end, and no reset
-			b.caller.Close()
-			b.hop.Close()
-			wait(t, b.finished)
+			b.expectLine(t, b.clientReader, "")   // the end, and no second MOVE
+			b.expectLine(t, b.upstreamReader, "") // the end, and no reset
+			b.client.Close()
+			b.upstream.Close()
+			receive(t, b.finished)
 		})
 	}
 }
 
 // Half a line of the caller's at the move takes nothing along: the next hop has whole lines,
 // as many as came before its end, and then that end.
-func TestCallersHalfLineAtTheMove(t *testing.T) {
-	b := start(t)
-	b.up(t)
-	say(t, b.caller, "whole\r\nhalf a li")
-	b.expect(t, b.fromCaller, "whole\r\n")
-	b.t.Migrate()
-	b.expect(t, b.fromNode, "MOVE\r\n")
-	say(t, b.caller, "ne\r\nand more\r\n") // crosses the end of the other leg
-	b.expect(t, b.fromNode, "")
-	rest, err := io.ReadAll(b.fromCaller)
+func TestPartialClientLineDuringMigration(t *testing.T) {
+	b := startSession(t)
+	b.establish(t)
+	write(t, b.client, "whole\r\nhalf a li")
+	b.expectLine(t, b.upstreamReader, "whole\r\n")
+	b.session.Migrate()
+	b.expectLine(t, b.clientReader, "MOVE\r\n")
+	write(t, b.client, "ne\r\nand more\r\n") // crosses the end of the other leg
+	b.expectLine(t, b.clientReader, "")
+	rest, err := io.ReadAll(b.upstreamReader)
 	if late := "half a line\r\nand more\r\n"; err != nil || !strings.HasPrefix(late, string(rest)) || len(rest) > 0 && rest[len(rest)-1] != '\n' {
 		t.Errorf("the next hop read %q, %v", rest, err)
 	}
-	b.caller.Close()
-	wait(t, b.finished)
+	b.client.Close()
+	receive(t, b.finished)
 }
 
 // UP and what ends its connection in one segment: the caller has UP, and then the end.
-func TestEndWithUp(t *testing.T) {
+func TestUpstreamEndsRightAfterUp(t *testing.T) {
 	ends := map[string]struct {
 		end  func(hop net.Conn)
 		want balance.Outcome
@@ -89,58 +89,58 @@
 	}
 	for name, tt := range ends {
 		t.Run(name, func(t *testing.T) {
-			b := start(t)
-			tt.end(b.hop) // it lies there before anybody is told of UP
-			b.up(t)
-			if how := wait(t, b.ended); how != tt.want {
+			b := startSession(t)
+			tt.end(b.upstream) // it lies there before anybody is told of UP
+			b.establish(t)
+			if how := receive(t, b.ended); how != tt.want {
 				t.Errorf("ended as %v, want %v", how, tt.want)
 			}
-			b.caller.Close()
-			wait(t, b.finished)
+			b.client.Close()
+			receive(t, b.finished)
 		})
 	}
 }
 
 // A move that is asked for between UP and its relay: UP goes first, then MOVE.
-func TestMoveBeforeUpIsTold(t *testing.T) {
-	near, caller := pair(t)
-	hopNear, hop := pair(t)
-	b := newBench(near, caller, hopNear, hop)
-	if !b.t.Establish("UP r1", "s1", b.hopLeg) {
+func TestMigrationBeforeUpIsRelayed(t *testing.T) {
+	near, caller := connPair(t)
+	hopNear, hop := connPair(t)
+	b := newFixture(near, caller, hopNear, hop)
+	if !b.session.Establish("UP r1", "s1", b.upstreamConn) {
 		t.Fatal("Up was not taken")
 	}
-	b.t.Migrate()
-	b.t.Migrate()
+	b.session.Migrate()
+	b.session.Migrate()
 	b.run()
-	b.expect(t, b.fromNode, "UP r1\r\n")
-	b.expect(t, b.fromNode, "MOVE\r\n")
-	if how := wait(t, b.ended); how != balance.Cancelled {
+	b.expectLine(t, b.clientReader, "UP r1\r\n")
+	b.expectLine(t, b.clientReader, "MOVE\r\n")
+	if how := receive(t, b.ended); how != balance.Cancelled {
 		t.Errorf("ended as %v", how)
 	}
 	caller.Close()
-	wait(t, b.finished)
+	receive(t, b.finished)
 }
 
 // Who is given up gets the answer that promises nothing, once, and is forgotten; who is
 // answered already stays so.
 func TestGiveUp(t *testing.T) {
-	b := start(t)
-	b.t.GiveUp()
-	b.expect(t, b.fromNode, "ERR\r\n")
-	wait(t, b.gone)
-	wait(t, b.t.Context().Done())
-	if b.t.Establish("UP r1", "s1", b.hopLeg) {
+	b := startSession(t)
+	b.session.GiveUp()
+	b.expectLine(t, b.clientReader, "ERR\r\n")
+	receive(t, b.gone)
+	receive(t, b.session.Context().Done())
+	if b.session.Establish("UP r1", "s1", b.upstreamConn) {
 		t.Error("an UP was taken for one that was given up")
 	}
-	b.t.GiveUp() // told a second time, the watcher's channel would be closed twice
-	b.expect(t, b.fromNode, "")
-	wait(t, b.finished)
+	b.session.GiveUp() // told a second time, the watcher's channel would be closed twice
+	b.expectLine(t, b.clientReader, "")
+	receive(t, b.finished)
 
-	b = start(t)
-	b.up(t)
-	b.t.GiveUp()
-	say(t, b.hop, "yes\r\n")
-	b.expect(t, b.fromNode, "yes\r\n")
-	b.caller.Close()
-	wait(t, b.finished)
+	b = startSession(t)
+	b.establish(t)
+	b.session.GiveUp()
+	write(t, b.upstream, "yes\r\n")
+	b.expectLine(t, b.clientReader, "yes\r\n")
+	b.client.Close()
+	receive(t, b.finished)
 }
--- a/internal/proxy/stall_test.go
+++ b/internal/proxy/stall_test.go
@@ -14,9 +14,9 @@
 
 // Lines pass byte for byte, and a reader that is slow holds up its next hop
 // rather than memory: what was not read is not taken from the next hop either.
-func TestSlowReader(t *testing.T) {
-	b := start(t)
-	b.up(t)
+func TestSlowClientThrottlesUpstream(t *testing.T) {
+	b := startSession(t)
+	b.establish(t)
 	line := make([]byte, bufconn.BufferSize)
 	for i := range line {
 		line[i] = byte(' ' + i%90)
@@ -24,9 +24,9 @@
 	copy(line[len(line)-2:], "\r\n")
 	const most = 64 << 20 / bufconn.BufferSize // far more than the sockets' buffers hold
 	written := 0
-	b.hop.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	b.upstream.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
 	for ; written < most; written++ {
-		if _, err := b.hop.Write(line); err != nil {
+		if _, err := b.upstream.Write(line); err != nil {
 			break
 		}
 	}
@@ -34,7 +34,7 @@
 		t.Fatalf("the node took all of %d lines from the next hop", most)
 	}
 	for i := range written {
-		got, err := b.fromNode.ReadString('\n')
+		got, err := b.clientReader.ReadString('\n')
 		if err != nil || got != string(line) {
 			t.Fatalf("line %d of %d changed on its way: %v", i, written, err)
 		}
@@ -43,24 +43,24 @@
 
 // A next hop that takes no lines any more but goes on sending was kept: what its caller
 // wrote was read and dropped, and nobody was told. It is left like one that is silent.
-func TestNextHopThatTakesNothing(t *testing.T) {
+func TestUpstreamThatAcceptsNothingMigratesClient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startOn(t, net.Pipe)
-		b.up(t)
+		b := startSessionOn(t, net.Pipe)
+		b.establish(t)
 		ticking := make(chan struct{})
 		go func() { // until either side closes it
 			defer close(ticking)
 			for {
-				if _, err := fmt.Fprint(b.hop, "tick\r\n"); err != nil {
+				if _, err := fmt.Fprint(b.upstream, "tick\r\n"); err != nil {
 					return
 				}
 				time.Sleep(time.Second)
 			}
 		}()
-		go fmt.Fprint(b.caller, "are you there\r\n")
+		go fmt.Fprint(b.client, "are you there\r\n")
 		begun, last := time.Now(), ""
 		for time.Since(begun) < time.Minute {
-			text, err := b.fromNode.ReadString('\n')
+			text, err := b.clientReader.ReadString('\n')
 			if err != nil {
 				break
 			}
@@ -69,9 +69,9 @@
 		if took := time.Since(begun); last != "MOVE\r\n" || took > 7*time.Second {
 			t.Errorf("after %v the caller's last line is %q, want MOVE", took, last)
 		}
-		b.caller.Close()
-		b.hop.Close()
-		wait(t, b.finished)
+		b.client.Close()
+		b.upstream.Close()
+		receive(t, b.finished)
 		<-ticking
 	})
 }
--- a/internal/proxy/yield_test.go
+++ b/internal/proxy/yield_test.go
@@ -12,49 +12,49 @@
 )
 
 // held is a connection on which a write waits until the test lets it go on, or it is closed.
-type held struct {
+type blockedConn struct {
 	*net.TCPConn
-	wrote, may chan struct{}
-	once       sync.Once
+	writing, release chan struct{}
+	once             sync.Once
 }
 
-func (h *held) Write(p []byte) (int, error) {
-	h.wrote <- struct{}{}
-	<-h.may
+func (h *blockedConn) Write(p []byte) (int, error) {
+	h.writing <- struct{}{}
+	<-h.release
 	return h.TCPConn.Write(p)
 }
 
-func (h *held) Close() error {
+func (h *blockedConn) Close() error {
 	err := h.TCPConn.Close()
-	h.once.Do(func() { close(h.may) })
+	h.once.Do(func() { close(h.release) })
 	return err
 }
 
 // holds brings up a connection whose caller's line is on its way to a next hop that does
 // not take it, and then has it yielded.
-func holds(t *testing.T) (b *bench, h *heir, line *held) {
+func startBlockedHandover(t *testing.T) (b *fixture, h *fakeSuccessor, line *blockedConn) {
 	t.Helper()
-	line = &held{wrote: make(chan struct{}, 9), may: make(chan struct{})}
+	line = &blockedConn{writing: make(chan struct{}, 9), release: make(chan struct{})}
 	first := true
-	b = startOn(t, func() (near, far net.Conn) {
-		near, far = pair(t)
+	b = startSessionOn(t, func() (near, far net.Conn) {
+		near, far = connPair(t)
 		if !first {
 			line.TCPConn, near = near.(*net.TCPConn), line
 		}
 		first = false
 		return near, far
 	})
-	h = newHeir(t)
-	b.up(t)
-	say(t, b.caller, "one\r\n")
-	wait(t, line.wrote)
-	b.t.HandOver(h)
+	h = newFakeSuccessor(t)
+	b.establish(t)
+	write(t, b.client, "one\r\n")
+	receive(t, line.writing)
+	b.session.HandOver(h)
 	return b, h, line
 }
 
 // reset tells whether the other side has reset a connection, also behind its end, where
 // no read shows it.
-func reset(t *testing.T, c net.Conn) (err error) {
+func socketError(t *testing.T, c net.Conn) (err error) {
 	t.Helper()
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
@@ -70,35 +70,35 @@
 
 // Until both sides have stopped this process owns what stands: the next hop's lines go on,
 // and its last one reaches the caller whatever that still sends. A move wins.
-func TestBeforeBothSidesStop(t *testing.T) {
+func TestOwnsSessionUntilBothRelaysStop(t *testing.T) {
 	t.Run("a line", func(t *testing.T) {
-		b, h, line := holds(t)
-		say(t, b.hop, "LOAD 7\r\n")
-		b.expect(t, b.fromNode, "LOAD 7\r\n")
-		line.once.Do(func() { close(line.may) })
-		b.expect(t, b.fromCaller, "one\r\n")
-		wait(t, h.asked)
-		h.takes <- false
-		b.expect(t, b.fromNode, "MOVE\r\n")
+		b, h, line := startBlockedHandover(t)
+		write(t, b.upstream, "LOAD 7\r\n")
+		b.expectLine(t, b.clientReader, "LOAD 7\r\n")
+		line.once.Do(func() { close(line.release) })
+		b.expectLine(t, b.upstreamReader, "one\r\n")
+		receive(t, h.offered)
+		h.accepts <- false
+		b.expectLine(t, b.clientReader, "MOVE\r\n")
 	})
-	for name, do := range map[string]func(b *bench) (last string){
-		"MOVE":              func(b *bench) string { say(t, b.hop, "MOVE\r\n"); b.hop.Close(); return "MOVE\r\n" },
-		"BYE":               func(b *bench) string { say(t, b.hop, "BYE\r\n"); b.hop.Close(); return "BYE\r\n" },
-		"the module's move": func(b *bench) string { b.t.Migrate(); return "MOVE\r\n" },
+	for name, do := range map[string]func(b *fixture) (last string){
+		"MOVE":              func(b *fixture) string { write(t, b.upstream, "MOVE\r\n"); b.upstream.Close(); return "MOVE\r\n" },
+		"BYE":               func(b *fixture) string { write(t, b.upstream, "BYE\r\n"); b.upstream.Close(); return "BYE\r\n" },
+		"the module's move": func(b *fixture) string { b.session.Migrate(); return "MOVE\r\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b, h, _ := holds(t)
-			say(t, b.caller, "two\r\n") // unread here: a plain close would reset
+			b, h, _ := startBlockedHandover(t)
+			write(t, b.client, "two\r\n") // unread here: a plain close would reset
 			last := do(b)
-			wait(t, b.finished)
-			if err := reset(t, b.caller); err != nil {
+			receive(t, b.finished)
+			if err := socketError(t, b.client); err != nil {
 				t.Errorf("its last line was followed by a reset: %v", err)
 			}
-			if got, err := io.ReadAll(b.fromNode); err != nil || string(got) != last {
+			if got, err := io.ReadAll(b.clientReader); err != nil || string(got) != last {
 				t.Errorf("the caller read %q, %v; want %q", got, err, last)
 			}
 			select {
-			case <-h.asked:
+			case <-h.offered:
 				t.Error("it was handed over as well")
 			default:
 			}
