--- a/internal/discovery/entry.go
+++ b/internal/discovery/entry.go
@@ -27,11 +27,11 @@
 
 // List returns the update as the module takes it.
 func (u Update) ListUpdate() balance.ListUpdate {
-	l := balance.ListUpdate{Kind: u.Kind}
-	for _, e := range u.Endpoints {
-		l.Entries = append(l.Entries, e.ServerEntry)
+	list := balance.ListUpdate{Kind: u.Kind}
+	for _, endpoint := range u.Endpoints {
+		list.Entries = append(list.Entries, endpoint.ServerEntry)
 	}
-	return l
+	return list
 }
 
 // message is discovery's form of a list or a change.
@@ -42,26 +42,26 @@
 }
 
 type instance struct {
-	ID        string `json:"instanceId"`
-	HostPort  string `json:"hostPort"`
-	Zone      string `json:"zone"`
-	Cell      int    `json:"cell"`
-	Lifecycle string `json:"lifecycle"`
-	StartedMs int64  `json:"startedAtMs"`
+	ID          string `json:"instanceId"`
+	HostPort    string `json:"hostPort"`
+	Zone        string `json:"zone"`
+	Cell        int    `json:"cell"`
+	Lifecycle   string `json:"lifecycle"`
+	StartedAtMs int64  `json:"startedAtMs"`
 }
 
-var lifecycles = map[string]balance.ServerState{
+var lifecycleStates = map[string]balance.ServerState{
 	"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone,
 }
 
 // Decode reads a message. Malformed entries are skipped and logged: one of them
 // must not cost the rest of the list.
 func Decode(raw []byte) (Update, error) {
-	var m message
-	if err := json.Unmarshal(raw, &m); err != nil {
+	var decoded message
+	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return Update{}, fmt.Errorf("list: %w", err)
 	}
-	return m.update()
+	return decoded.update()
 }
 
 func (m *message) update() (Update, error) {
@@ -71,37 +71,37 @@
 	if m.Reset && m.Instances == nil {
 		return Update{}, errors.New("list: instances is missing") // not the same as none
 	}
-	u := Update{Kind: balance.ListDelta, Generation: *m.Generation}
+	update := Update{Kind: balance.ListDelta, Generation: *m.Generation}
 	if m.Reset {
-		u.Kind = balance.ListFull
+		update.Kind = balance.ListFull
 	}
 	for _, raw := range m.Instances {
-		e, err := entry(raw)
+		endpoint, err := decodeEndpoint(raw)
 		if err != nil {
 			slog.Warn("roster entry skipped", "err", err)
 			continue
 		}
-		u.Endpoints = append(u.Endpoints, e)
+		update.Endpoints = append(update.Endpoints, endpoint)
 	}
-	return u, nil
+	return update, nil
 }
 
-func entry(raw json.RawMessage) (Endpoint, error) {
-	var i instance
-	wrong := json.Unmarshal(raw, &i)
-	state, ok := lifecycles[i.Lifecycle]
+func decodeEndpoint(raw json.RawMessage) (Endpoint, error) {
+	var decoded instance
+	decodeErr := json.Unmarshal(raw, &decoded)
+	state, ok := lifecycleStates[decoded.Lifecycle]
 	switch {
-	case wrong != nil && (!ok || state == balance.Ready): // of one that leaves the rest tells nothing
-		return Endpoint{}, fmt.Errorf("entry %.80q: %w", raw, wrong)
-	case !ok || i.ID == "":
+	case decodeErr != nil && (!ok || state == balance.Ready): // of one that leaves the rest tells nothing
+		return Endpoint{}, fmt.Errorf("entry %.80q: %w", raw, decodeErr)
+	case !ok || decoded.ID == "":
 		return Endpoint{}, fmt.Errorf("entry %.80q: unknown lifecycle or no instanceId", raw)
 	}
-	if _, _, err := net.SplitHostPort(i.HostPort); err != nil {
+	if _, _, err := net.SplitHostPort(decoded.HostPort); err != nil {
 		if state == balance.Ready {
-			return Endpoint{}, fmt.Errorf("entry %s: hostPort: %w", i.ID, err)
+			return Endpoint{}, fmt.Errorf("entry %s: hostPort: %w", decoded.ID, err)
 		}
-		i.HostPort = "" // it stays at the address that is known
+		decoded.HostPort = "" // it stays at the address that is known
 	}
-	return Endpoint{Addr: i.HostPort, ServerEntry: balance.ServerEntry{ID: i.ID, Zone: i.Zone, Cell: i.Cell,
-		State: state, StartedAt: time.Duration(i.StartedMs) * time.Millisecond}}, nil
+	return Endpoint{Addr: decoded.HostPort, ServerEntry: balance.ServerEntry{ID: decoded.ID, Zone: decoded.Zone, Cell: decoded.Cell,
+		State: state, StartedAt: time.Duration(decoded.StartedAtMs) * time.Millisecond}}, nil
 }
--- a/internal/discovery/roster.go
+++ b/internal/discovery/roster.go
@@ -24,35 +24,35 @@
 	// Set before Run.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
-	sink  Sink
-	want  chan struct{}
-	moved chan struct{}
-	news  chan news
+	sink           Sink
+	pollRequested  chan struct{}
+	addressChanged chan struct{}
+	events         chan event
 
 	mu   sync.Mutex
 	addr string
 
 	// What follows belongs to Run's goroutine.
-	asked string  // the address that from is of
-	from  int64   // the last generation seen there
-	after after   // why the next call is made
-	calls []*call // under way, at most two; all but the last are told as failed
-	parts sync.WaitGroup
+	polledAddr     string     // the address that from is of
+	lastGeneration int64      // the last generation seen there
+	nextReason     callReason // why the next call is made
+	calls          []*call    // under way, at most two; all but the last are told as failed
+	callGroup      sync.WaitGroup
 }
 
 // New returns a Watch of the discovery service at addr.
 func New(addr string, sink Sink) *Watcher {
-	return &Watcher{Dial: dial, addr: addr, asked: addr, sink: sink, news: make(chan news),
-		want: make(chan struct{}, 1), moved: make(chan struct{}, 1)}
+	return &Watcher{Dial: dial, addr: addr, polledAddr: addr, sink: sink, events: make(chan event),
+		pollRequested: make(chan struct{}, 1), addressChanged: make(chan struct{}, 1)}
 }
 
 // Subscribe asks for a watch.
-func (w *Watcher) Subscribe() { note(w.want) }
+func (w *Watcher) Subscribe() { signal(w.pollRequested) }
 
 // note leaves word on a channel that holds one.
-func note(c chan struct{}) {
+func signal(channel chan struct{}) {
 	select {
-	case c <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -64,7 +64,7 @@
 	defer w.mu.Unlock()
 	if addr != w.addr {
 		w.addr = addr
-		note(w.moved)
+		signal(w.addressChanged)
 	}
 }
 
@@ -72,129 +72,129 @@
 // node had last, which may be old.
 func (w *Watcher) Run(ctx context.Context, known Update) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer w.parts.Wait()
+	defer w.callGroup.Wait()
 	defer cancel()
 	known.Kind = balance.ListCached
-	w.from = known.Generation
+	w.lastGeneration = known.Generation
 	w.sink.UpdateEndpoints(known)
 	for {
-		want, late := w.want, (<-chan time.Time)(nil)
+		pollRequested, overdue := w.pollRequested, (<-chan time.Time)(nil)
 		if len(w.calls) > 0 {
-			if last := w.calls[len(w.calls)-1]; !last.failed {
-				want, late = nil, last.late
+			if last := w.calls[len(w.calls)-1]; !last.failureReported {
+				pollRequested, overdue = nil, last.overdue
 			} else if len(w.calls) > 1 {
-				want = nil // until one of them ends
+				pollRequested = nil // until one of them ends
 			}
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-w.moved:
-			w.move(ctx)
-		case <-want:
-			w.begin(ctx)
-		case <-late:
-			w.fail(w.calls[len(w.calls)-1], errLate)
-		case n := <-w.news:
-			w.take(n)
+		case <-w.addressChanged:
+			w.switchAddress(ctx)
+		case <-pollRequested:
+			w.startCall(ctx)
+		case <-overdue:
+			w.reportFailure(w.calls[len(w.calls)-1], errOverdue)
+		case event := <-w.events:
+			w.handleEvent(event)
 		}
 	}
 }
 
 // address returns where to ask. Who asks there has done what was left to do of a move.
-func (w *Watcher) address() string {
+func (w *Watcher) takeAddress() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	select {
-	case <-w.moved:
+	case <-w.addressChanged:
 	default:
 	}
 	return w.addr
 }
 
 // move goes over to another address, unless what is under way is there already.
-func (w *Watcher) move(ctx context.Context) {
-	addr := w.address()
+func (w *Watcher) switchAddress(ctx context.Context) {
+	addr := w.takeAddress()
 	if slices.ContainsFunc(w.calls, func(c *call) bool { return c.addr == addr }) {
 		return
 	}
-	w.forget()
-	w.begin(ctx)
+	w.discardPollRequest()
+	w.startCall(ctx)
 }
 
 // begin makes a call. None stays at another address.
-func (w *Watcher) begin(ctx context.Context) {
-	if addr := w.address(); addr != w.asked {
+func (w *Watcher) startCall(ctx context.Context) {
+	if addr := w.takeAddress(); addr != w.polledAddr {
 		// Generations of two services need not be of one count: asked from the old one's,
 		// the new one might leave changes out.
-		w.asked, w.from, w.after = addr, 0, afterWatch
-		w.keep(nil)
+		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonWatchEnded
+		w.cancelAllBut(nil)
 	}
-	c := &call{addr: w.asked, from: w.from, after: w.after, news: w.news}
-	ctx, c.stop = context.WithCancel(ctx)
-	if c.after == afterWatch {
-		c.due, c.late = time.Now().Add(answered), time.After(answered)
+	started := &call{addr: w.polledAddr, fromGeneration: w.lastGeneration, reason: w.nextReason, events: w.events}
+	ctx, started.cancel = context.WithCancel(ctx)
+	if started.reason == reasonWatchEnded {
+		started.listDeadline, started.overdue = time.Now().Add(responseTimeout), time.After(responseTimeout)
 	}
-	w.calls = append(w.calls, c)
-	w.parts.Go(func() { c.run(ctx, w.Dial) })
+	w.calls = append(w.calls, started)
+	w.callGroup.Go(func() { started.run(ctx, w.Dial) })
 }
 
 // keep ends all calls but one.
-func (w *Watcher) keep(one *call) {
+func (w *Watcher) cancelAllBut(kept *call) {
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
-		if c != one {
-			c.stop()
+		if c != kept {
+			c.cancel()
 		}
-		return c != one
+		return c != kept
 	})
 }
 
 // take handles what a call says, unless it has been ended since.
-func (w *Watcher) take(n news) {
-	i := slices.Index(w.calls, n.call)
-	if i < 0 {
+func (w *Watcher) handleEvent(event event) {
+	index := slices.Index(w.calls, event.call)
+	if index < 0 {
 		return
 	}
-	switch c := n.call; {
-	case n.err != nil:
-		c.stop()
-		w.calls = slices.Delete(w.calls, i, i+1)
-		w.fail(c, n.err)
-	case n.stage == headed:
-		c.late = nil
-	case n.stage == begun && c.after == afterWatch:
-		c.late = time.After(time.Until(c.due))
-	case n.stage == begun:
-		if c.after == afterFailure {
-			c.late = time.After(answered)
+	switch c := event.call; {
+	case event.err != nil:
+		c.cancel()
+		w.calls = slices.Delete(w.calls, index, index+1)
+		w.reportFailure(c, event.err)
+	case event.progress == progressHeader:
+		c.overdue = nil
+	case event.progress == progressFirstByte && c.reason == reasonWatchEnded:
+		c.overdue = time.After(time.Until(c.listDeadline))
+	case event.progress == progressFirstByte:
+		if c.reason == reasonCallFailed {
+			c.overdue = time.After(responseTimeout)
 		}
 	default:
-		w.keep(c)
-		c.late, c.failed, c.listed = nil, false, true
-		w.from, w.after = n.update.Generation, afterWatch
-		w.sink.UpdateEndpoints(n.update)
+		w.cancelAllBut(c)
+		c.overdue, c.failureReported, c.watching = nil, false, true
+		w.lastGeneration, w.nextReason = event.update.Generation, reasonWatchEnded
+		w.sink.UpdateEndpoints(event.update)
 	}
 }
 
 // fail tells of a failure, once for each call. Only who is told of it asks again: what was
 // asked for before is void, or two calls would follow without a pause.
-func (w *Watcher) fail(c *call, err error) {
-	if c.failed {
+func (w *Watcher) reportFailure(c *call, err error) {
+	if c.failureReported {
 		return
 	}
-	c.failed = true
-	if !c.listed {
-		w.after = afterFailure
+	c.failureReported = true
+	if !c.watching {
+		w.nextReason = reasonCallFailed
 	}
-	w.forget()
+	w.discardPollRequest()
 	slog.Warn("watch ended", "discovery", c.addr, "err", err)
-	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.from})
+	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration})
 }
 
 // forget voids what was asked for.
-func (w *Watcher) forget() {
+func (w *Watcher) discardPollRequest() {
 	select {
-	case <-w.want:
+	case <-w.pollRequested:
 	default:
 	}
 }
--- a/internal/discovery/roster_test.go
+++ b/internal/discovery/roster_test.go
@@ -14,11 +14,11 @@
 	"coralrelay/balance"
 )
 
-const patience = 10 * time.Second // no test waits this long unless it fails
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
 
 const (
-	one = `{"instanceId":"s1","hostPort":"127.1.0.1:7070","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.5,"startedAtMs":1796122725000}`
-	two = `{"instanceId":"s2","hostPort":"127.1.0.2:7070","zone":"b","lifecycle":"leaving","weight":1,"startedAtMs":0}`
+	readyInstance    = `{"instanceId":"s1","hostPort":"127.1.0.1:7070","zone":"a","machineType":"m","cell":3,"lifecycle":"active","weight":1.5,"startedAtMs":1796122725000}`
+	drainingInstance = `{"instanceId":"s2","hostPort":"127.1.0.2:7070","zone":"b","lifecycle":"leaving","weight":1,"startedAtMs":0}`
 )
 
 func TestDecode(t *testing.T) {
@@ -31,20 +31,20 @@
 		name, raw string
 		want      Update // no generation: malformed as a whole
 	}{
-		{"whole list", `{"generation":41,"reset":true,"instances":[` + one + "," + two + `]}`, Update{balance.ListFull, 41, []Endpoint{s1, s2}}},
+		{"whole list", `{"generation":41,"reset":true,"instances":[` + readyInstance + "," + drainingInstance + `]}`, Update{balance.ListFull, 41, []Endpoint{s1, s2}}},
 		{"changes", `{"generation":42,"instances":[{"instanceId":"s3","lifecycle":"left"}]}`, Update{balance.ListDelta, 42, []Endpoint{gone}}},
-		{"changes with every field", `{"generation":42,"reset":false,"instances":[` + one + "," + two + `,{"instanceId":"s3","hostPort":"127.1.0.3:7070",` +
+		{"changes with every field", `{"generation":42,"reset":false,"instances":[` + readyInstance + "," + drainingInstance + `,{"instanceId":"s3","hostPort":"127.1.0.3:7070",` +
 			`"zone":"c","machineType":"m","cell":4,"lifecycle":"left","weight":2,"startedAtMs":7}]}`,
 			Update{balance.ListDelta, 42, []Endpoint{s1, s2, {Addr: "127.1.0.3:7070", ServerEntry: balance.ServerEntry{ID: "s3", Zone: "c", Cell: 4,
 				State: balance.Gone, StartedAt: 7 * time.Millisecond}}}}},
 		{"nothing", `{"generation":42,"reset":false,"instances":[]}`, Update{balance.ListDelta, 42, nil}},
-		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
-		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
-		{"no address", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h","lifecycle":"active"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
-		{"no object", `{"generation":43,"instances":[7,null,"x",` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
-		{"wrong type", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
-		{"leaves, without an address", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
-		{"leaves, wrong type", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving","cell":"x"},` + two + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
+		{"unknown lifecycle", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no id", `{"generation":43,"instances":[{"hostPort":"h:1","lifecycle":"active"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no address", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h","lifecycle":"active"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"no object", `{"generation":43,"instances":[7,null,"x",` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"wrong type", `{"generation":43,"instances":[{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s2}}},
+		{"leaves, without an address", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
+		{"leaves, wrong type", `{"generation":43,"instances":[{"instanceId":"s9","lifecycle":"leaving","cell":"x"},` + drainingInstance + `]}`, Update{balance.ListDelta, 43, []Endpoint{s9, s2}}},
 		{"no generation", `{"instances":[]}`, Update{}},
 		{"whole list without instances", `{"generation":44,"reset":true}`, Update{}},
 		{"no JSON", `{`, Update{}},
@@ -59,32 +59,32 @@
 	}
 }
 
-type sink chan Update
+type bufferedSink chan Update
 
-func (s sink) UpdateEndpoints(u Update) { s <- u }
+func (s bufferedSink) UpdateEndpoints(u Update) { s <- u }
 
-func (s sink) next(t *testing.T) Update {
+func (s bufferedSink) next(t *testing.T) Update {
 	t.Helper()
 	select {
 	case u := <-s:
 		return u
-	case <-time.After(patience):
+	case <-time.After(testTimeout):
 		t.Fatal("no update came")
 		return Update{}
 	}
 }
 
 // discovery answers its calls one by one.
-func discovery(t *testing.T, calls ...func(conn net.Conn, request string)) (addr string) {
+func startFakeDiscovery(t *testing.T, calls ...func(conn net.Conn, request string)) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for _, serve := range calls {
-			conn, err := l.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -92,58 +92,58 @@
 			serve(conn, request)
 		}
 	}()
-	return l.Addr().String()
+	return listener.Addr().String()
 }
 
 // start runs a Watch against a discovery that answers its calls one by one.
-func start(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watcher, sink) {
+func startWatcher(t *testing.T, calls ...func(conn net.Conn, request string)) (*Watcher, bufferedSink) {
 	t.Helper()
-	addr := discovery(t, calls...)
-	s := make(sink, 16)
-	w := New(addr, s)
+	addr := startFakeDiscovery(t, calls...)
+	sink := make(bufferedSink, 16)
+	watcher := New(addr, sink)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { defer close(ended); w.Run(ctx, Update{Generation: 41}) }()
+	go func() { defer close(ended); watcher.Run(ctx, Update{Generation: 41}) }()
 	t.Cleanup(func() { cancel(); <-ended })
-	if u := s.next(t); u.Kind != balance.ListCached || u.Generation != 41 {
-		t.Errorf("first of all came %+v, want the known list", u)
+	if update := sink.next(t); update.Kind != balance.ListCached || update.Generation != 41 {
+		t.Errorf("first of all came %+v, want the known list", update)
 	}
-	return w, s
+	return watcher, sink
 }
 
-const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+const responseHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-func chunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
+func writeChunk(conn net.Conn, text string) { fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text) }
 
 // A watch resumes from the last generation that it saw; its failures are told.
-func TestWatchResumes(t *testing.T) {
+func TestWatchResumesFromLastGeneration(t *testing.T) {
 	requests := make(chan string, 2)
-	w, s := start(t, func(conn net.Conn, request string) {
+	watcher, sink := startWatcher(t, func(conn net.Conn, request string) {
 		requests <- request
-		fmt.Fprint(conn, head)
-		chunk(conn, `{"generation":43,"reset":true,"inst`) // a message may come in pieces
-		chunk(conn, `ances":[`+one+"]}\n\n")
-		chunk(conn, "\n")
-		chunk(conn, `{"generation":44,"reset":false,"instances":[`+two+"]}\n")
+		fmt.Fprint(conn, responseHead)
+		writeChunk(conn, `{"generation":43,"reset":true,"inst`) // a message may come in pieces
+		writeChunk(conn, `ances":[`+readyInstance+"]}\n\n")
+		writeChunk(conn, "\n")
+		writeChunk(conn, `{"generation":44,"reset":false,"instances":[`+drainingInstance+"]}\n")
 		conn.Close()
 	}, func(conn net.Conn, request string) {
 		requests <- request
 		fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		conn.Close()
 	})
-	w.Subscribe()
+	watcher.Subscribe()
 	for _, want := range []balance.ListKind{balance.ListFull, balance.ListDelta, balance.ListFailed} {
-		if u := s.next(t); u.Kind != want {
-			t.Fatalf("got %+v, want kind %d", u, want)
+		if update := sink.next(t); update.Kind != want {
+			t.Fatalf("got %+v, want kind %d", update, want)
 		}
 	}
-	w.Subscribe()
-	if u := s.next(t); u.Kind != balance.ListFailed {
-		t.Errorf("after a 503 came %+v", u)
+	watcher.Subscribe()
+	if update := sink.next(t); update.Kind != balance.ListFailed {
+		t.Errorf("after a 503 came %+v", update)
 	}
 	for _, from := range []string{"from=41 ", "from=44 "} {
-		if r := <-requests; !strings.HasPrefix(r, "GET /v1/endpoints?watch=1&") || !strings.Contains(r, from) {
-			t.Errorf("request %q, want one with %s", r, from)
+		if request := <-requests; !strings.HasPrefix(request, "GET /v1/endpoints?watch=1&") || !strings.Contains(request, from) {
+			t.Errorf("request %q, want one with %s", request, from)
 		}
 	}
 }
@@ -151,30 +151,30 @@
 // Another discovery is followed at once: the old watch is dropped without a word
 // of failure, and the new one is asked for all it has, as its generations need
 // not be the old one's.
-func TestFollow(t *testing.T) {
-	dropped, requests := make(chan error, 1), make(chan string, 1)
-	w, s := start(t, func(conn net.Conn, _ string) {
-		fmt.Fprint(conn, head)
-		chunk(conn, `{"generation":43,"reset":true,"instances":[]}`+"\n")
+func TestSetAddressPollsNewServiceFromZero(t *testing.T) {
+	oldConnErrors, requests := make(chan error, 1), make(chan string, 1)
+	watcher, sink := startWatcher(t, func(conn net.Conn, _ string) {
+		fmt.Fprint(conn, responseHead)
+		writeChunk(conn, `{"generation":43,"reset":true,"instances":[]}`+"\n")
 		_, err := conn.Read(make([]byte, 1))
-		dropped <- err
+		oldConnErrors <- err
 	})
-	w.Subscribe()
-	if u := s.next(t); u.Generation != 43 {
-		t.Fatalf("got %+v", u)
+	watcher.Subscribe()
+	if update := sink.next(t); update.Generation != 43 {
+		t.Fatalf("got %+v", update)
 	}
-	w.SetAddress(discovery(t, func(conn net.Conn, request string) {
+	watcher.SetAddress(startFakeDiscovery(t, func(conn net.Conn, request string) {
 		requests <- request
-		fmt.Fprint(conn, head)
-		chunk(conn, `{"generation":7,"reset":true,"instances":[`+one+"]}\n")
+		fmt.Fprint(conn, responseHead)
+		writeChunk(conn, `{"generation":7,"reset":true,"instances":[`+readyInstance+"]}\n")
 	}))
-	if u := s.next(t); u.Kind != balance.ListFull || u.Generation != 7 || len(u.Endpoints) != 1 {
-		t.Errorf("got %+v, want the new list", u)
+	if update := sink.next(t); update.Kind != balance.ListFull || update.Generation != 7 || len(update.Endpoints) != 1 {
+		t.Errorf("got %+v, want the new list", update)
 	}
-	if r := <-requests; !strings.Contains(r, "from=0 ") {
-		t.Errorf("request %q, want one for all", r)
+	if request := <-requests; !strings.Contains(request, "from=0 ") {
+		t.Errorf("request %q, want one for all", request)
 	}
-	if err := <-dropped; err != io.EOF {
+	if err := <-oldConnErrors; err != io.EOF {
 		t.Errorf("the old watch's connection: %v, want its end", err)
 	}
 }
