--- a/internal/route/snapshot/told.go
+++ b/internal/route/snapshot/told.go
@@ -17,53 +17,53 @@
 // Whole returns all of it, at an index of the record: routes by path, allocations by
 // contract. Regions are sets of zones by name; ready counts next hops by zone, as far as
 // the node has told them. What it returns shares the state's slices and changes nothing.
-func Build(index uint64, a account.State, p slo.State, regions map[string][]string, ready map[string]int) route.Update {
-	w := route.Update{Index: index, Complete: true, ReadyEndpoints: ready}
-	held := map[string][]slo.Contract{}
-	for _, c := range p.Contracts {
-		held[c.Holder] = append(held[c.Holder], c)
+func Build(index uint64, accounts account.State, contracts slo.State, regions map[string][]string, readyEndpoints map[string]int) route.Update {
+	update := route.Update{Index: index, Complete: true, ReadyEndpoints: readyEndpoints}
+	byHolder := map[string][]slo.Contract{}
+	for _, held := range contracts.Contracts {
+		byHolder[held.Holder] = append(byHolder[held.Holder], held)
 	}
-	for _, path := range slices.Sorted(maps.Keys(a.Routes)) {
-		r := a.Routes[path]
-		w.Set = append(w.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: parts(r.ZoneShares, regions, ready),
-			AllowedZones: zonesOf(a, r.Owner, regions), Contract: contract(r, p, held)})
+	for _, path := range slices.Sorted(maps.Keys(accounts.Routes)) {
+		r := accounts.Routes[path]
+		update.Set = append(update.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: zoneShares(r.ZoneShares, regions, readyEndpoints),
+			AllowedZones: allowedZones(accounts, r.Owner, regions), Contract: contractOf(r, contracts, byHolder)})
 	}
-	for _, s := range p.Allocations {
+	for _, allocation := range contracts.Allocations {
 		shares := map[string]float64{}
-		for _, name := range slices.Sorted(maps.Keys(s.Shares)) {
-			spread(name, s.Shares[name], regions, ready, func(zone string, part float64) { shares[zone] += part })
+		for _, name := range slices.Sorted(maps.Keys(allocation.Shares)) {
+			spreadOverZones(name, allocation.Shares[name], regions, readyEndpoints, func(zone string, share float64) { shares[zone] += share })
 		}
-		w.Allocations = append(w.Allocations, route.Allocation{Contract: s.Contract, Shares: shares, RejectedShare: s.Overflow})
+		update.Allocations = append(update.Allocations, route.Allocation{Contract: allocation.Contract, Shares: shares, RejectedShare: allocation.Overflow})
 	}
-	return w
+	return update
 }
 
 // spread deals the part of a zone or region among its zones, by their next hops.
-func spread(name string, part float64, regions map[string][]string, ready map[string]int, each func(zone string, part float64)) {
-	zones, all := regions[name], 0
+func spreadOverZones(name string, share float64, regions map[string][]string, readyEndpoints map[string]int, add func(zone string, share float64)) {
+	zones, total := regions[name], 0
 	if len(zones) == 0 {
-		each(name, part)
+		add(name, share)
 		return
 	}
 	for _, zone := range zones {
-		all += ready[zone]
+		total += readyEndpoints[zone]
 	}
 	for _, zone := range zones {
-		if all == 0 {
-			each(zone, part/float64(len(zones)))
+		if total == 0 {
+			add(zone, share/float64(len(zones)))
 		} else {
-			each(zone, part*float64(ready[zone])/float64(all))
+			add(zone, share*float64(readyEndpoints[zone])/float64(total))
 		}
 	}
 }
 
-func parts(list []account.ZoneShare, regions map[string][]string, ready map[string]int) []account.ZoneShare {
-	if len(list) == 0 {
+func zoneShares(shares []account.ZoneShare, regions map[string][]string, readyEndpoints map[string]int) []account.ZoneShare {
+	if len(shares) == 0 {
 		return nil
 	}
 	sums := map[string]float64{}
-	for _, p := range list {
-		spread(p.Zone, p.Percent, regions, ready, func(zone string, part float64) { sums[zone] += part })
+	for _, share := range shares {
+		spreadOverZones(share.Zone, share.Percent, regions, readyEndpoints, func(zone string, share float64) { sums[zone] += share })
 	}
 	var zones []account.ZoneShare
 	for _, zone := range slices.Sorted(maps.Keys(sums)) {
@@ -74,11 +74,11 @@
 
 // zonesOf returns what an owner may use: its own list, or that of the nearest above that
 // has one, as a list is never wider than one above it.
-func zonesOf(a account.State, owner string, regions map[string][]string) (zones []string) {
-	for path := owner; path != ""; path = above(path) {
-		if n := a.Nodes[path]; n != nil && len(n.Scope.Zones) > 0 {
-			for _, name := range n.Scope.Zones {
-				spread(name, 1, regions, nil, func(zone string, _ float64) { zones = append(zones, zone) })
+func allowedZones(accounts account.State, owner string, regions map[string][]string) (zones []string) {
+	for path := owner; path != ""; path = parent(path) {
+		if node := accounts.Nodes[path]; node != nil && len(node.Scope.Zones) > 0 {
+			for _, name := range node.Scope.Zones {
+				spreadOverZones(name, 1, regions, nil, func(zone string, _ float64) { zones = append(zones, zone) })
 			}
 			slices.Sort(zones)
 			return slices.Compact(zones)
@@ -89,14 +89,14 @@
 
 // contract names the contract that a route goes by: the one that it states, or that of the
 // nearest holder, of several the first by priority that was ever steered.
-func contract(r *account.Route, p slo.State, held map[string][]slo.Contract) string {
-	if r.Contract != "" {
-		return r.Contract
+func contractOf(route *account.Route, contracts slo.State, byHolder map[string][]slo.Contract) string {
+	if route.Contract != "" {
+		return route.Contract
 	}
-	for path := r.Path(); path != ""; path = above(path) {
-		if of := held[path]; len(of) > 0 {
-			best := slices.MinFunc(of, func(a, b slo.Contract) int {
-				return cmp.Or(cmp.Compare(unsteered(p, a), unsteered(p, b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
+	for path := route.Path(); path != ""; path = parent(path) {
+		if candidates := byHolder[path]; len(candidates) > 0 {
+			best := slices.MinFunc(candidates, func(a, b slo.Contract) int {
+				return cmp.Or(cmp.Compare(unsteeredLast(contracts, a), unsteeredLast(contracts, b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
 			})
 			return best.Name
 		}
@@ -104,14 +104,14 @@
 	return ""
 }
 
-func unsteered(p slo.State, c slo.Contract) int {
-	if _, ok := p.Allocation(c.Name); ok {
+func unsteeredLast(contracts slo.State, contract slo.Contract) int {
+	if _, ok := contracts.Allocation(contract.Name); ok {
 		return 0
 	}
 	return 1
 }
 
 // above returns the path above: of a route its owner, of an account none.
-func above(path string) string {
+func parent(path string) string {
 	return path[:max(strings.LastIndexAny(path, ":/"), 0)]
 }
--- a/internal/route/snapshot/told_test.go
+++ b/internal/route/snapshot/told_test.go
@@ -10,9 +10,9 @@
 )
 
 // The state's regions, scopes and contracts reach a route's bound.
-func TestFromTheRecordToABound(t *testing.T) {
+func TestBuildsBoundsFromRegionsScopesAndContracts(t *testing.T) {
 	regions := map[string][]string{"north": {"a", "b"}, "south": {"c"}}
-	ready := map[string]int{"a": 30, "b": 10, "c": 10}
+	readyEndpoints := map[string]int{"a": 30, "b": 10, "c": 10}
 	for _, tt := range []struct {
 		name  string
 		scope []string
@@ -30,20 +30,20 @@
 		{"within the account's region", []string{"south"}, nil, slo.Contract{Name: "gold", Holder: "acme"}, map[string]float64{"b": 0.5, "c": 0.5}, "[{c 1}]"},
 	} {
 		r := &account.Route{Name: "r", Owner: "acme/web", ZoneShares: tt.parts}
-		a := account.State{Nodes: map[string]*account.Node{"acme": {Scope: account.Scope{Zones: tt.scope}}, "acme/web": {}},
+		accounts := account.State{Nodes: map[string]*account.Node{"acme": {Scope: account.Scope{Zones: tt.scope}}, "acme/web": {}},
 			Routes: map[string]*account.Route{r.Path(): r}}
-		p := slo.State{}
+		contracts := slo.State{}
 		if tt.at.Name != "" {
-			p.Contracts = []slo.Contract{tt.at}
-			p.Allocations = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
+			contracts.Contracts = []slo.Contract{tt.at}
+			contracts.Allocations = []slo.Allocation{{Contract: tt.at.Name, Shares: tt.share}}
 		}
-		table, err := route.Compile(Build(7, a, p, regions, ready))
+		table, err := route.Compile(Build(7, accounts, contracts, regions, readyEndpoints))
 		if err != nil {
 			t.Fatal(err)
 		}
 		got := "<nil>"
-		if b := table.Find(route.Query{Class: "feed"}).Bound; b != nil {
-			got = fmt.Sprint(b.Zones)
+		if bound := table.Find(route.Query{Class: "feed"}).Bound; bound != nil {
+			got = fmt.Sprint(bound.Zones)
 		}
 		if got != tt.want {
 			t.Errorf("%s: %s, want %s", tt.name, got, tt.want)
