--- a/internal/replayguard/ledger_test.go
+++ b/internal/replayguard/ledger_test.go
@@ -135,7 +135,7 @@
 				t.Errorf("asked again while full: %v", v)
 			}
 			clock.Add(int64(2 * time.Minute))
-			l.keeper.sweep()
+			l.backend.sweep()
 			for begun := time.Now(); l.RecordCount() > 0; time.Sleep(time.Millisecond) {
 				if time.Since(begun) > 10*time.Second {
 					t.Fatalf("%d records were not forgotten", l.RecordCount())
@@ -153,7 +153,7 @@
 	r := ring(t, "a")
 	l, _ := start(t, Options{Dir: t.TempDir()})
 	_, tok := token(t, r, l, time.Now(), time.Minute)
-	if err := l.keeper.(*durable).store.Close(); err != nil { // the disk is gone
+	if err := l.backend.(*durableBackend).store.Close(); err != nil { // the disk is gone
 		t.Fatal(err)
 	}
 	if v := judge(l, tok, 1); v != resumetoken.GuardUnavailable || l.IsReady() || l.RecordCount() != 0 {
@@ -295,7 +295,7 @@
 	k, _ := ring(t, "z").Get(1)
 	claim := strings.Repeat("0", 32)
 	for name, text := range map[string]string{
-		"other secret": sealed(k, "ask", spend, "c", "1", k.ID.String(), claim, tok),
+		"other secret": authenticatedLine(k, "ask", spendMessage, "c", "1", k.ID.String(), claim, tok),
 		"no seal":      "SPEND c 1 00000001 " + claim + " " + tok + " 00\r\n",
 		"endless":      strings.Repeat("x", 100_000),
 		"empty":        "\r\n",
@@ -308,7 +308,7 @@
 		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 		_, _ = conn.Write([]byte(text))
 		answer, err := bufio.NewReader(conn).ReadString('\n')
-		if strings.HasPrefix(answer, verdict) || err == nil && answer != no+"\r\n" {
+		if strings.HasPrefix(answer, verdictMessage) || err == nil && answer != refusedMessage+"\r\n" {
 			t.Errorf("%s: answered %q", name, answer)
 		}
 		_ = conn.Close()
@@ -324,10 +324,10 @@
 	for name, answer := range map[string]func(k *resumetoken.Key, challenge, seq string) string{
 		"no key": func(*resumetoken.Key, string, string) string { return "LEDGER 1 n1 00 ready stays 00\r\n" },
 		"old answer": func(k *resumetoken.Key, _, seq string) string {
-			return sealed(k, "answer old", aboutMe, seq, "n1", "0102030405060708", "ready", "stays")
+			return authenticatedLine(k, "answer old", statusMessage, seq, "n1", "0102030405060708", "ready", "stays")
 		},
 		"another name": func(k *resumetoken.Key, c, seq string) string {
-			return sealed(k, "answer "+c, aboutMe, seq, "n7", "0102030405060708", "ready", "stays")
+			return authenticatedLine(k, "answer "+c, statusMessage, seq, "n7", "0102030405060708", "ready", "stays")
 		},
 	} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -344,7 +344,7 @@
 					return
 				}
 				again <- struct{}{}
-				if words, err := readWords(bufio.NewReader(conn), 5); err == nil {
+				if words, err := readFields(bufio.NewReader(conn), 5); err == nil {
 					_, _ = conn.Write([]byte(answer(k, words[1], words[2])))
 				}
 			}
@@ -395,7 +395,7 @@
 	clock.Store(time.Now().UnixNano())
 	r := ring(t, "a")
 	l, _ := start(t, Options{Dir: t.TempDir(), NoSync: true, MaxRecords: 100_000, Now: func() time.Time { return time.Unix(0, clock.Load()) }})
-	k := l.keeper.(*durable)
+	k := l.backend.(*durableBackend)
 	const step, perStep, day = time.Minute, 50, 24 * 60
 	var early, late int64
 	for minute := range day {
@@ -447,7 +447,7 @@
 			})
 		}
 		wg.Wait()
-		file := l.keeper.(*durable).store.Size()
+		file := l.backend.(*durableBackend).store.Size()
 		var m runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&m)
--- a/internal/replayguard/server.go
+++ b/internal/replayguard/server.go
@@ -17,22 +17,22 @@
 
 const (
 	// callers is how many nodes may be connected at once.
-	callers = 64
+	maxConnections = 64
 	// answers is how many answers may wait for one of them; beyond it the
 	// connection ends, as a commit must not wait for a slow reader.
-	answers = 1024
+	maxQueuedResponses = 1024
 	// idle ends a connection: a peer says something every helloEvery.
-	idle = 10 * time.Second
+	idleTimeout = 10 * time.Second
 	// writing is how long a write may block.
-	writing = time.Second
+	writeTimeout = time.Second
 )
 
 // Server answers other nodes' ledgers.
 type Server struct {
-	Name    string
-	Guard   *Guard
-	KeyRing func() *resumetoken.KeyRing
-	bad     logging.Throttled
+	Name     string
+	Guard    *Guard
+	KeyRing  func() *resumetoken.KeyRing
+	failures logging.Throttled
 }
 
 // Serve answers until ctx ends; it closes the listener.
@@ -41,22 +41,22 @@
 	defer wg.Wait()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	places := make(chan struct{}, callers)
+	slots := make(chan struct{}, maxConnections)
 	for {
 		conn, err := listener.Accept()
 		switch {
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			s.bad.Warn("ledger: accept", "err", err)
+			s.failures.Warn("ledger: accept", "err", err)
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		select {
-		case places <- struct{}{}:
+		case slots <- struct{}{}:
 			wg.Go(func() {
-				defer func() { <-places }()
-				s.serve(ctx, conn)
+				defer func() { <-slots }()
+				s.serveConnection(ctx, conn)
 			})
 		default:
 			_ = conn.Close()
@@ -66,34 +66,34 @@
 
 // serve answers one connection. Answers go out in a goroutine of their own, since
 // they come when a group is durable.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
+func (s *Server) serveConnection(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	out := make(chan string, answers)
+	outgoing := make(chan string, maxQueuedResponses)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	defer cancel()
-	wg.Go(func() { write(ctx, conn, out) })
-	say := func(line string) {
+	wg.Go(func() { writeLines(ctx, conn, outgoing) })
+	respond := func(line string) {
 		select {
-		case out <- line:
+		case outgoing <- line:
 		default:
 			cancel()
 		}
 	}
-	r := bufio.NewReaderSize(conn, longest)
+	reader := bufio.NewReaderSize(conn, maxLineBytes)
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(idle))
-		words, err := readWords(r, 0)
+		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		fields, err := readFields(reader, 0)
 		if err == nil {
-			err = s.answer(words, say)
+			err = s.handleRequest(fields, respond)
 		}
 		if err != nil {
-			if ctx.Err() == nil && errors.Is(err, errLine) {
-				s.bad.Warn("ledger: refused", "from", conn.RemoteAddr().String(), "err", err)
-				_ = conn.SetWriteDeadline(time.Now().Add(writing))
-				_, _ = conn.Write([]byte(no + "\r\n"))
+			if ctx.Err() == nil && errors.Is(err, errMalformedLine) {
+				s.failures.Warn("ledger: refused", "from", conn.RemoteAddr().String(), "err", err)
+				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+				_, _ = conn.Write([]byte(refusedMessage + "\r\n"))
 			}
 			return
 		}
@@ -101,20 +101,20 @@
 }
 
 // write sends what comes, several lines at once where they wait.
-func write(ctx context.Context, conn net.Conn, out <-chan string) {
-	w := bufio.NewWriter(conn)
+func writeLines(ctx context.Context, conn net.Conn, outgoing <-chan string) {
+	writer := bufio.NewWriter(conn)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case line := <-out:
-			_ = conn.SetWriteDeadline(time.Now().Add(writing))
-			_, err := w.WriteString(line)
-			for n := len(out); n > 0 && err == nil; n-- {
-				_, err = w.WriteString(<-out)
+		case line := <-outgoing:
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_, err := writer.WriteString(line)
+			for n := len(outgoing); n > 0 && err == nil; n-- {
+				_, err = writer.WriteString(<-outgoing)
 			}
 			if err == nil {
-				err = w.Flush()
+				err = writer.Flush()
 			}
 			if err != nil {
 				_ = conn.Close()
@@ -124,41 +124,43 @@
 	}
 }
 
-func (s *Server) answer(words []string, say func(string)) error {
+func (s *Server) handleRequest(fields []string, respond func(string)) error {
 	switch {
-	case words[0] == hello && len(words) == 5:
-	case words[0] == spend && len(words) == 7:
+	case fields[0] == helloMessage && len(fields) == 5:
+	case fields[0] == spendMessage && len(fields) == 7:
 	default:
-		return fmt.Errorf("%w: %.60q", errLine, words)
+		return fmt.Errorf("%w: %.60q", errMalformedLine, fields)
 	}
-	challenge, seq := words[1], words[2]
-	id, err := strconv.ParseUint(words[3], 16, 32)
-	k, known := s.KeyRing().Get(resumetoken.KeyID(id))
-	if err != nil || !known || !unseal(k, "ask", words) {
-		return fmt.Errorf("%w: its seal does not fit, key %.10q", errLine, words[3])
+	challenge, sequence := fields[1], fields[2]
+	id, err := strconv.ParseUint(fields[3], 16, 32)
+	key, known := s.KeyRing().Get(resumetoken.KeyID(id))
+	if err != nil || !known || !verifyLine(key, "ask", fields) {
+		return fmt.Errorf("%w: its seal does not fit, key %.10q", errMalformedLine, fields[3])
 	}
-	context := "answer " + challenge
-	if words[0] == hello {
-		room, stays := "full", "goes"
+	macContext := "answer " + challenge
+	if fields[0] == helloMessage {
+		readiness, durability := "full", "goes"
 		if s.Guard.IsReady() {
-			room = "ready"
+			readiness = "ready"
 		}
 		if s.Guard.IsDurable {
-			stays = "stays"
+			durability = "stays"
 		}
-		say(sealed(k, context, aboutMe, seq, s.Name, hex.EncodeToString(s.Guard.ID[:]), room, stays))
+		respond(authenticatedLine(key, macContext, statusMessage, sequence, s.Name, hex.EncodeToString(s.Guard.ID[:]), readiness, durability))
 		return nil
 	}
-	var c resumetoken.RedemptionID
-	if n, err := hex.Decode(c[:], []byte(words[4])); err != nil || n != len(c) {
-		return fmt.Errorf("%w: claimant %.40q", errLine, words[4])
+	var redemptionID resumetoken.RedemptionID
+	if n, err := hex.Decode(redemptionID[:], []byte(fields[4])); err != nil || n != len(redemptionID) {
+		return fmt.Errorf("%w: claimant %.40q", errMalformedLine, fields[4])
 	}
-	tell := func(v resumetoken.Verdict) { say(sealed(k, context, verdict, seq, v.String())) }
-	t, err := resumetoken.Open(s.KeyRing(), words[5])
+	reply := func(v resumetoken.Verdict) {
+		respond(authenticatedLine(key, macContext, verdictMessage, sequence, v.String()))
+	}
+	token, err := resumetoken.Open(s.KeyRing(), fields[5])
 	if err != nil {
-		tell(resumetoken.Invalid)
+		reply(resumetoken.Invalid)
 		return nil
 	}
-	s.Guard.Spend(&t, c, tell)
+	s.Guard.Spend(&token, redemptionID, reply)
 	return nil
 }
--- a/internal/replayguard/service.go
+++ b/internal/replayguard/service.go
@@ -13,7 +13,7 @@
 )
 
 // retry is the pause before a question that found no connection is put again.
-const retry = 10 * time.Millisecond
+const retryInterval = 10 * time.Millisecond
 
 // Terms are what may change while the node runs.
 type ServiceConfig struct {
@@ -25,13 +25,13 @@
 
 // Service mints and redeems tokens for one node.
 type Service struct {
-	name     string
-	ledger   *Guard
-	peers    map[string]*Peer
-	terms    atomic.Pointer[ServiceConfig]
-	leaving  atomic.Bool
-	failed   logging.Throttled
-	Counters Counters
+	name         string
+	guard        *Guard
+	peers        map[string]*Peer
+	config       atomic.Pointer[ServiceConfig]
+	draining     atomic.Bool
+	mintFailures logging.Throttled
+	Counters     Counters
 }
 
 // Counts are what a Service has done so far.
@@ -41,15 +41,15 @@
 }
 
 // NewService returns the node's service; peers are its addresses by name.
-func NewService(name string, l *Guard, t ServiceConfig, peers map[string]string) *Service {
-	s := &Service{name: name, ledger: l, peers: map[string]*Peer{}}
-	s.terms.Store(&t)
+func NewService(name string, guard *Guard, config ServiceConfig, peers map[string]string) *Service {
+	service := &Service{name: name, guard: guard, peers: map[string]*Peer{}}
+	service.config.Store(&config)
 	for name, addr := range peers {
-		if name != s.name { // one file may serve all nodes
-			s.peers[name] = &Peer{Name: name, Addr: addr, ring: s.KeyRing}
+		if name != service.name { // one file may serve all nodes
+			service.peers[name] = &Peer{Name: name, Addr: addr, ring: service.KeyRing}
 		}
 	}
-	return s
+	return service
 }
 
 // Run keeps the connections to peers until ctx ends.
@@ -62,38 +62,38 @@
 }
 
 // Ring returns the keys in force.
-func (s *Service) KeyRing() *resumetoken.KeyRing { return s.terms.Load().KeyRing }
+func (s *Service) KeyRing() *resumetoken.KeyRing { return s.config.Load().KeyRing }
 
 // Change puts other terms in force.
-func (s *Service) UpdateConfig(t ServiceConfig) { s.terms.Store(&t) }
+func (s *Service) UpdateConfig(config ServiceConfig) { s.config.Store(&config) }
 
 // Leave tells that the node is about to end: others have to arbitrate what it
 // mints from now on.
-func (s *Service) BeginDraining() { s.leaving.Store(true) }
+func (s *Service) BeginDraining() { s.draining.Store(true) }
 
 // Mint returns a token for a client that is moved, or "" if nobody could arbitrate
 // one.
-func (s *Service) Mint(flowKey, group string, pos resumetoken.Position) string {
-	now, terms := time.Now(), s.terms.Load()
-	var n resumetoken.Nonce
-	_, _ = rand.Read(n[:])
+func (s *Service) Mint(flowKey, group string, position resumetoken.Position) string {
+	now, config := time.Now(), s.config.Load()
+	var nonce resumetoken.Nonce
+	_, _ = rand.Read(nonce[:])
 	peers := make([]resumetoken.Candidate, 0, len(s.peers))
 	for _, p := range s.peers {
 		peers = append(peers, p.Candidate(now))
 	}
-	self := resumetoken.Candidate{Name: s.name, GuardID: s.ledger.ID, IsReady: s.ledger.IsReady(), IsDurable: s.ledger.IsDurable}
-	arbiter, ok := resumetoken.ChooseArbiter(self, s.leaving.Load(), peers, n)
+	self := resumetoken.Candidate{Name: s.name, GuardID: s.guard.ID, IsReady: s.guard.IsReady(), IsDurable: s.guard.IsDurable}
+	arbiter, ok := resumetoken.ChooseArbiter(self, s.draining.Load(), peers, nonce)
 	if !ok {
 		s.Counters.WithoutToken.Add(1)
 		return ""
 	}
 	if mutation.Enabled("position") {
-		pos.Offset++
+		position.Offset++
 	}
-	text, err := resumetoken.Mint(terms.KeyRing, now, resumetoken.Claims{Issuer: s.name, Arbiter: arbiter.Name, GuardID: arbiter.GuardID,
-		Position: pos, FlowKey: flowKey, Group: group, Lifetime: terms.TokenLifetime, Nonce: n})
+	text, err := resumetoken.Mint(config.KeyRing, now, resumetoken.Claims{Issuer: s.name, Arbiter: arbiter.Name, GuardID: arbiter.GuardID,
+		Position: position, FlowKey: flowKey, Group: group, Lifetime: config.TokenLifetime, Nonce: nonce})
 	if err != nil {
-		s.failed.Warn("no token for a moved client", "err", err)
+		s.mintFailures.Warn("no token for a moved client", "err", err)
 		s.Counters.WithoutToken.Add(1)
 		return ""
 	}
@@ -102,60 +102,60 @@
 }
 
 // Redeem settles one presentation, within the terms' wait and before ctx ends.
-func (s *Service) Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome {
-	terms := s.terms.Load()
+func (s *Service) Redeem(ctx context.Context, presentation resumetoken.Presentation) resumetoken.Outcome {
+	config := s.config.Load()
 	if mutation.Enabled("binding") {
-		if t, err := resumetoken.Open(terms.KeyRing, p.Token); err == nil {
-			return s.ask(ctx, terms, p.Token, &resumetoken.Redemption{Token: t})
+		if token, err := resumetoken.Open(config.KeyRing, presentation.Token); err == nil {
+			return s.redeemWithArbiter(ctx, config, presentation.Token, &resumetoken.Redemption{Token: token})
 		}
 	}
-	r, o, settled := resumetoken.BeginRedemption(terms.KeyRing, time.Now(), p, terms.ClockSkew)
+	redemption, outcome, settled := resumetoken.BeginRedemption(config.KeyRing, time.Now(), presentation, config.ClockSkew)
 	if !settled {
-		o = s.ask(ctx, terms, p.Token, r)
+		outcome = s.redeemWithArbiter(ctx, config, presentation.Token, redemption)
 	}
-	s.Counters.Verdicts[o.Verdict].Add(1)
-	return o
+	s.Counters.Verdicts[outcome.Verdict].Add(1)
+	return outcome
 }
 
-func (s *Service) ask(ctx context.Context, terms *ServiceConfig, text string, r *resumetoken.Redemption) resumetoken.Outcome {
-	ctx, cancel := context.WithTimeout(ctx, terms.ArbiterTimeout)
+func (s *Service) redeemWithArbiter(ctx context.Context, config *ServiceConfig, text string, redemption *resumetoken.Redemption) resumetoken.Outcome {
+	ctx, cancel := context.WithTimeout(ctx, config.ArbiterTimeout)
 	defer cancel()
-	var c resumetoken.RedemptionID
-	_, _ = rand.Read(c[:])
-	v := s.verdict(ctx, text, &r.Token, c)
+	var id resumetoken.RedemptionID
+	_, _ = rand.Read(id[:])
+	v := s.requestVerdict(ctx, text, &redemption.Token, id)
 	if mutation.Enabled("ledger") {
 		v = resumetoken.Granted
 	}
-	o, _ := r.Complete(v)
-	return o
+	outcome, _ := redemption.Complete(v)
+	return outcome
 }
 
 // verdict asks the token's arbiter, again under the same claim where the
 // connection broke, until ctx ends.
-func (s *Service) verdict(ctx context.Context, text string, t *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
-	if t.Arbiter == s.name {
-		tell := make(chan resumetoken.Verdict, 1)
-		s.ledger.Spend(t, c, func(v resumetoken.Verdict) { tell <- v })
+func (s *Service) requestVerdict(ctx context.Context, text string, token *resumetoken.Token, id resumetoken.RedemptionID) resumetoken.Verdict {
+	if token.Arbiter == s.name {
+		reply := make(chan resumetoken.Verdict, 1)
+		s.guard.Spend(token, id, func(v resumetoken.Verdict) { reply <- v })
 		select {
-		case v := <-tell:
+		case v := <-reply:
 			return v
 		case <-ctx.Done():
 			return resumetoken.ArbiterUnreachable
 		}
 	}
-	p := s.peers[t.Arbiter]
-	if p == nil {
+	peer := s.peers[token.Arbiter]
+	if peer == nil {
 		return resumetoken.ArbiterUnreachable
 	}
 	for {
-		v, err := p.Spend(ctx, text, c)
+		v, err := peer.Spend(ctx, text, id)
 		if err == nil {
 			return v
 		}
 		select {
 		case <-ctx.Done():
 			return resumetoken.ArbiterUnreachable
-		case <-time.After(retry):
+		case <-time.After(retryInterval):
 		}
 	}
 }
--- a/internal/replayguard/stored_test.go
+++ b/internal/replayguard/stored_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	l, stop := startStored(t, dir, storedTime)
-	l.keeper.sweep()
+	l.backend.sweep()
 	for _, tok := range storedTokens {
 		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
 			t.Fatal(v)
@@ -207,7 +207,7 @@
 	t.Helper()
 	near, far := net.Pipe()
 	served := make(chan struct{})
-	go func() { s.serve(context.Background(), far); close(served) }()
+	go func() { s.serveConnection(context.Background(), far); close(served) }()
 	defer func() { _ = near.Close(); <-served }()
 	if _, err := near.Write([]byte(line)); err != nil {
 		t.Fatal(err)
@@ -241,20 +241,20 @@
 func TestPeerLines(t *testing.T) {
 	keys := ring(t, "a", "b")
 	p := &Peer{Name: "n0", ring: func() *resumetoken.KeyRing { return keys }}
-	p.link = &link{challenge: wireChallenge, out: make(chan string, 1), waiting: map[uint64]*question{}}
+	p.connection = &peerConnection{challenge: wireChallenge, outgoing: make(chan string, 1), pending: map[uint64]*pendingRequest{}}
 	talk := func(i int) {
 		t.Helper()
-		if ask := <-p.link.out; ask != wireLines[i].ask {
+		if ask := <-p.connection.outgoing; ask != wireLines[i].ask {
 			t.Errorf("asked %q\nwant  %q", ask, wireLines[i].ask)
 		}
-		if err := p.heard(p.link, strings.Fields(wireLines[i].answer)); err != nil {
+		if err := p.handleResponse(p.connection, strings.Fields(wireLines[i].answer)); err != nil {
 			t.Errorf("answer %q: %v", wireLines[i].answer, err)
 		}
 	}
-	p.ask(p.link, nil, hello)
+	p.send(p.connection, nil, helloMessage)
 	talk(0)
-	if want := (resumetoken.Candidate{Name: "n0", GuardID: storedID, IsReady: true, IsDurable: true}); p.member != want {
-		t.Errorf("the peer is %+v, want %+v", p.member, want)
+	if want := (resumetoken.Candidate{Name: "n0", GuardID: storedID, IsReady: true, IsDurable: true}); p.status != want {
+		t.Errorf("the peer is %+v, want %+v", p.status, want)
 	}
 	for i, c := range []struct {
 		claimant string
--- a/internal/replayguard/wire.go
+++ b/internal/replayguard/wire.go
@@ -21,42 +21,42 @@
 //	VERDICT SEQ VERDICT SEAL
 //	NO                                  and a close, to who has no key
 const (
-	hello   = "HELLO"
-	aboutMe = "LEDGER"
-	spend   = "SPEND"
-	verdict = "VERDICT"
-	no      = "NO"
+	helloMessage   = "HELLO"
+	statusMessage  = "LEDGER"
+	spendMessage   = "SPEND"
+	verdictMessage = "VERDICT"
+	refusedMessage = "NO"
 	// longest is the longest line, in bytes; the longest is a SPEND.
-	longest = 1024
+	maxLineBytes = 1024
 )
 
-var errLine = errors.New("malformed line")
+var errMalformedLine = errors.New("malformed line")
 
 // readWords reads a line of n words; n 0 takes any number.
-func readWords(r *bufio.Reader, n int) ([]string, error) {
-	b, err := r.ReadSlice('\n')
+func readFields(reader *bufio.Reader, count int) ([]string, error) {
+	line, err := reader.ReadSlice('\n')
 	if err != nil {
 		return nil, err
 	}
-	words := strings.Fields(string(b))
-	if len(words) == 0 || n > 0 && len(words) != n {
-		return nil, fmt.Errorf("%w: %.60q", errLine, b)
+	fields := strings.Fields(string(line))
+	if len(fields) == 0 || count > 0 && len(fields) != count {
+		return nil, fmt.Errorf("%w: %.60q", errMalformedLine, line)
 	}
-	return words, nil
+	return fields, nil
 }
 
 // sealed joins words with their seal.
-func sealed(k *resumetoken.Key, context string, words ...string) string {
-	return strings.Join(append(words, seal(k, context, words)), " ") + "\r\n"
+func authenticatedLine(key *resumetoken.Key, context string, fields ...string) string {
+	return strings.Join(append(fields, lineMAC(key, context, fields)), " ") + "\r\n"
 }
 
-func seal(k *resumetoken.Key, context string, words []string) string {
-	return hex.EncodeToString(k.PeerMAC(append([]string{context}, words...)...))
+func lineMAC(key *resumetoken.Key, context string, fields []string) string {
+	return hex.EncodeToString(key.PeerMAC(append([]string{context}, fields...)...))
 }
 
 // unseal tells whether the last word is the seal of those before.
-func unseal(k *resumetoken.Key, context string, words []string) bool {
-	last := len(words) - 1
-	want := seal(k, context, words[:last])
-	return subtle.ConstantTimeCompare([]byte(want), []byte(words[last])) == 1
+func verifyLine(key *resumetoken.Key, context string, fields []string) bool {
+	last := len(fields) - 1
+	want := lineMAC(key, context, fields[:last])
+	return subtle.ConstantTimeCompare([]byte(want), []byte(fields[last])) == 1
 }
