--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -58,7 +58,7 @@
 	}
 	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.ReplicatedLog.Dir, Bind: f.ReplicatedLog.Bind, Advertise: f.ReplicatedLog.Advertise,
 		Voters: voters, Key: key, Genesis: logentry.Genesis{RootKey: root, Zones: f.Zones.Config(), DisabledChecks: accountGuards()}, Lease: f.ReplicatedLog.Lease.Duration,
-		Peers: peers, RaftLog: toLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
+		Peers: peers, RaftLogOutput: toLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
 			SkipDiskSync: mutation.Enabled("sync"), AlwaysFresh: mutation.Enabled("stale")}})
 	if err != nil {
 		return err
--- a/cmd/coralrelay/routes_test.go
+++ b/cmd/coralrelay/routes_test.go
@@ -77,7 +77,7 @@
 			return &logentry.State{Accounts: account.State{Version: 1, Nodes: map[string]*account.Node{"acme": {Limits: top}}, Routes: map[string]*account.Route{r.Path(): r}}}
 		}
 		log, state := &writ{}, tree(0, -1)
-		set := func() { log.view.Store(&replog.View{State: state, Fresh: true, ConfirmedAt: time.Now()}) }
+		set := func() { log.view.Store(&replog.View{State: state, WithinLease: true, ConfirmedAt: time.Now()}) }
 		set()
 		a := agent.New(agent.Options{Name: "n1", Zone: "a", Log: log, Clock: clock, Accounts: &deal,
 			Gossip: gossip.NewMember("n1", quota.Config{Epoch: deal.Epoch, LeaseTimeout: deal.HolderTimeout, ReportTTL: time.Second}, quota.Guards{}, clock)})
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -65,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(t, ctx)
-		w.ledger.change(func(v *replog.View) { v.Fresh, v.ConfirmedAt = true, time.Now() })
+		w.ledger.change(func(v *replog.View) { v.WithinLease, v.ConfirmedAt = true, time.Now() })
 		done := make(chan struct{})
 		go func() { defer close(done); w.agent.Run(ctx) }()
 		said := agentapi.Report{}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -137,9 +137,9 @@
 // hears tells whether the record's word holds, and says when it begins or ends not to.
 func (a *Agent) hears(now time.Duration, v replog.View) bool {
 	switch {
-	case a.Zones == nil || v.Fresh != a.deaf || !v.Fresh && now-a.began < a.LogLease:
-		return v.Fresh
-	case v.Fresh:
+	case a.Zones == nil || v.WithinLease != a.deaf || !v.WithinLease && now-a.began < a.LogLease:
+		return v.WithinLease
+	case v.WithinLease:
 		slog.Info("fleet: zones: this member goes by the record's word again", "index", v.State.Index, "leader", v.Leader)
 	default:
 		index, age := uint64(0), "never"
@@ -151,8 +151,8 @@
 		}
 		slog.Info("fleet: zones: the record is not heard, this member goes by its last word and by what its node sees", "index", index, "heard", age)
 	}
-	a.deaf = !v.Fresh
-	return v.Fresh
+	a.deaf = !v.WithinLease
+	return v.WithinLease
 }
 
 // Answer takes what the node has said. The node's clock is the machine's.
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -82,7 +82,7 @@
 			return func() {
 				w.write("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
 				w.ledger.change(func(v *replog.View) {
-					if v.Fresh = fresh; fresh {
+					if v.WithinLease = fresh; fresh {
 						v.ConfirmedAt = time.Now()
 					}
 				})
@@ -119,7 +119,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
 		defer cancel()
 		w := newWorld(t, ctx)
-		w.ledger.change(func(v *replog.View) { v.Fresh = true })
+		w.ledger.change(func(v *replog.View) { v.WithinLease = true })
 		w.ledger.stuck = true
 		w.failed["c"] = 1
 		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.ledger.stuck = false }})
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -93,7 +93,7 @@
 		s.Log = a.NoLogReason
 	} else {
 		v := a.Log.View()
-		s.Role, s.Leader, s.WithinLease, s.DiskError = v.Role, v.Leader, v.Fresh, v.DiskError
+		s.Role, s.Leader, s.WithinLease, s.DiskError = v.Role, v.Leader, v.WithinLease, v.DiskError
 		if !v.ConfirmedAt.IsZero() {
 			s.LastContactMillis = time.Since(v.ConfirmedAt).Milliseconds()
 		}
--- a/internal/fleet/agent/rights.go
+++ b/internal/fleet/agent/rights.go
@@ -161,7 +161,7 @@
 // lost tells whether the record has not been heard for the hold.
 func (a *Agent) lost(now time.Duration, v replog.View, hold time.Duration) bool {
 	switch {
-	case v.Fresh:
+	case v.WithinLease:
 		return false
 	case v.ConfirmedAt.IsZero():
 		return now-a.began >= hold
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -61,7 +61,7 @@
 	l.woken = make(chan struct{})
 }
 
-func (l *ledger) IsLeader() bool { return l.View().Fresh }
+func (l *ledger) IsLeader() bool { return l.View().WithinLease }
 
 func (l *ledger) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
 	l.mu.Lock()
--- a/internal/fleet/replog/cluster_test.go
+++ b/internal/fleet/replog/cluster_test.go
@@ -129,7 +129,7 @@
 		wg.Go(func() {
 			for {
 				woken := m.Changed()
-				if v := m.View(); m.IsLeader() && v.Fresh {
+				if v := m.View(); m.IsLeader() && v.WithinLease {
 					found <- m
 					return
 				}
@@ -180,5 +180,5 @@
 }
 
 func freshAtIndex(n uint64) func(View) bool {
-	return func(v View) bool { return v.State.Index >= n && v.Fresh }
+	return func(v View) bool { return v.State.Index >= n && v.WithinLease }
 }
--- a/internal/fleet/replog/commit_test.go
+++ b/internal/fleet/replog/commit_test.go
@@ -39,7 +39,7 @@
 		m.kill()
 	}
 	a = f.restart(a, nil)
-	if v := a.View(); v.State.Index != last.Index || v.State.Hash != want || v.Fresh {
+	if v := a.View(); v.State.Index != last.Index || v.State.Hash != want || v.WithinLease {
 		t.Errorf("alone: %+v", v)
 	}
 	// Voters that start from a snapshot, without the log before it, go on where they were.
@@ -71,7 +71,7 @@
 	old.kill()
 	err := <-answered
 	next := f.awaitLeader(old)
-	f.await(a, "fresh again", func(v View) bool { return v.Fresh && v.Leader == next.options.Name })
+	f.await(a, "fresh again", func(v View) bool { return v.WithinLease && v.Leader == next.options.Name })
 	if got := next.View().State.Zones.Version; err == nil && (!out.Accepted || got <= version) {
 		t.Errorf("answered %+v, and the new leader is at version %d of %d", out, got, version)
 	} else if err != nil && !errors.Is(err, ErrOutcomeUnknown) && got != version {
--- a/internal/fleet/replog/disk.go
+++ b/internal/fleet/replog/disk.go
@@ -53,7 +53,7 @@
 }
 
 // openDisk opens a voter's store. One that can't be trusted is set aside, and why is told.
-func openVoterStore(options *Options, cutConnections func()) (opened *voterStore, setAsideReason string, err error) {
+func openVoterStore(options *Options, cutConnections func()) (opened *voterStore, quarantineReason string, err error) {
 	path := filepath.Join(options.Dir, "votes.db")
 	for range 2 {
 		if err := options.InjectFault("open"); err != nil {
@@ -64,124 +64,124 @@
 			return nil, "", err
 		}
 		if file.QuarantinePath != "" {
-			setAsideReason = fmt.Sprintf("%v; it is now %s", file.QuarantineReason, file.QuarantinePath)
+			quarantineReason = fmt.Sprintf("%v; it is now %s", file.QuarantineReason, file.QuarantinePath)
 		}
 		opened = &voterStore{store: file, injectFault: options.InjectFault, cutConnections: cutConnections, failed: make(chan struct{}), entries: map[uint64]*raft.Log{},
 			stable: map[string][]byte{}, bootstrapStores: map[string]string{}}
 		loadErr := opened.load()
 		if loadErr == nil {
-			return opened, setAsideReason, nil
+			return opened, quarantineReason, nil
 		}
 		_ = file.Close()
-		aside, err := setAside(path, "torn")
+		quarantinePath, err := quarantineFile(path, "torn")
 		if err != nil {
 			return nil, "", errors.Join(loadErr, err)
 		}
-		setAsideReason = fmt.Sprintf("store %s: %v; it is now %s", path, loadErr, aside)
+		quarantineReason = fmt.Sprintf("store %s: %v; it is now %s", path, loadErr, quarantinePath)
 	}
-	return nil, setAsideReason, fmt.Errorf("store %s: a fresh one is bad too", path)
+	return nil, quarantineReason, fmt.Errorf("store %s: a fresh one is bad too", path)
 }
 
 // setAside moves a store out of the way whose content is bad though its pages are sound.
-func setAside(path, label string) (string, error) {
+func quarantineFile(path, label string) (string, error) {
 	for n := 1; ; n++ {
-		aside := fmt.Sprintf("%s.%s-%d", path, label, n)
-		err := os.Link(path, aside)
+		target := fmt.Sprintf("%s.%s-%d", path, label, n)
+		err := os.Link(path, target)
 		if errors.Is(err, os.ErrExist) {
 			continue
 		}
 		if err != nil {
 			return "", err
 		}
-		return aside, os.Remove(path)
+		return target, os.Remove(path)
 	}
 }
 
 // read takes all into memory and checks it.
-func (d *voterStore) load() error {
-	return d.store.View(func(tx *store.Tx) error {
+func (s *voterStore) load() error {
+	return s.store.View(func(tx *store.Tx) error {
 		err := tx.Bucket(logsBucket).ForEach(func(key, value []byte) error {
 			entry, err := decodeLog(value)
 			if err != nil {
 				return fmt.Errorf("log entry %x: %w", key, err)
 			}
-			if d.lastIndex != 0 && entry.Index != d.lastIndex+1 || len(key) != 8 || binary.BigEndian.Uint64(key) != entry.Index {
-				return fmt.Errorf("log entry %x: calls itself %d, after %d", key, entry.Index, d.lastIndex)
+			if s.lastIndex != 0 && entry.Index != s.lastIndex+1 || len(key) != 8 || binary.BigEndian.Uint64(key) != entry.Index {
+				return fmt.Errorf("log entry %x: calls itself %d, after %d", key, entry.Index, s.lastIndex)
 			}
-			if d.firstIndex == 0 {
-				d.firstIndex = entry.Index
+			if s.firstIndex == 0 {
+				s.firstIndex = entry.Index
 			}
-			d.entries[entry.Index], d.lastIndex = entry, entry.Index
+			s.entries[entry.Index], s.lastIndex = entry, entry.Index
 			return nil
 		})
 		if err != nil {
 			return err
 		}
 		if value := tx.Bucket(snapshotBucket).Get(snapshotKey); value != nil {
-			if d.snapshot, err = decodeSnapshot(value); err != nil {
+			if s.snapshot, err = decodeSnapshot(value); err != nil {
 				return err
 			}
 		}
-		if covered := d.snapshot.index(); d.firstIndex > covered+1 {
-			return fmt.Errorf("the log begins at %d, and the snapshot ends at %d", d.firstIndex, covered)
+		if covered := s.snapshot.index(); s.firstIndex > covered+1 {
+			return fmt.Errorf("the log begins at %d, and the snapshot ends at %d", s.firstIndex, covered)
 		}
 		if value := tx.Bucket(bootstrapBucket).Get(bootstrapStoresKey); value != nil {
-			if err := json.Unmarshal(value, &d.bootstrapStores); err != nil {
+			if err := json.Unmarshal(value, &s.bootstrapStores); err != nil {
 				return fmt.Errorf("founders: %w", err)
 			}
 		}
 		return tx.Bucket(stableBucket).ForEach(func(key, value []byte) error {
-			d.stable[string(key)] = append([]byte{}, value...)
+			s.stable[string(key)] = append([]byte{}, value...)
 			return nil
 		})
 	})
 }
 
 // blank tells whether nothing was ever promised with this store.
-func (d *voterStore) isBlank() bool {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.lastIndex == 0 && d.snapshot == nil && len(d.stable) == 0
+func (s *voterStore) isBlank() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.lastIndex == 0 && s.snapshot == nil && len(s.stable) == 0
 }
 
 // update writes one transaction and then shows it in memory.
-func (d *voterStore) update(op string, write func(*store.Tx) error, applyInMemory func()) error {
-	d.writeMu.Lock()
-	defer d.writeMu.Unlock()
-	if d.writeErr != nil {
-		return d.writeErr
+func (s *voterStore) update(op string, write func(*store.Tx) error, applyInMemory func()) error {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	if s.writeErr != nil {
+		return s.writeErr
 	}
-	err := d.injectFault(op)
+	err := s.injectFault(op)
 	if err == nil {
-		err = d.store.Update(write)
+		err = s.store.Update(write)
 	}
 	if err != nil {
-		d.writeErr = fmt.Errorf("%s: %w", op, err)
-		d.cutConnections()
-		close(d.failed)
-		return d.writeErr
+		s.writeErr = fmt.Errorf("%s: %w", op, err)
+		s.cutConnections()
+		close(s.failed)
+		return s.writeErr
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	applyInMemory()
 	return nil
 }
 
 // found begins a log with its first configuration, in one transaction.
-func (d *voterStore) bootstrap(configuration raft.Configuration, stores map[string]string) error {
+func (s *voterStore) bootstrap(configuration raft.Configuration, stores map[string]string) error {
 	first := &raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(configuration)}
 	encodedStores, err := json.Marshal(stores)
 	if err != nil {
 		return err
 	}
 	term := binary.BigEndian.AppendUint64(nil, 1)
-	return d.update("found", func(tx *store.Tx) error {
+	return s.update("found", func(tx *store.Tx) error {
 		return errors.Join(tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, encodedStores), tx.Bucket(stableBucket).Put(termKey, term),
 			tx.Bucket(logsBucket).Put(binary.BigEndian.AppendUint64(nil, 1), encodeLog(first)))
 	}, func() {
-		d.bootstrapStores, d.stable[string(termKey)] = stores, term
-		d.entries[1], d.firstIndex, d.lastIndex = first, 1, 1
+		s.bootstrapStores, s.stable[string(termKey)] = stores, term
+		s.entries[1], s.firstIndex, s.lastIndex = first, 1, 1
 	})
 }
 
-func (d *voterStore) close() error { return d.store.Close() }
+func (s *voterStore) close() error { return s.store.Close() }
--- a/internal/fleet/replog/follow_test.go
+++ b/internal/fleet/replog/follow_test.go
@@ -116,7 +116,7 @@
 	for _, v := range f.voters {
 		f.await(f.members[v.Name], "at the entry", freshAtIndex(out.Index))
 	}
-	if v := stranger.View(); v.State.Index != 0 || v.Fresh {
+	if v := stranger.View(); v.State.Index != 0 || v.WithinLease {
 		t.Errorf("the stranger knows of %d entries", v.State.Index)
 	}
 	_ = idle[0].SetReadDeadline(time.Now().Add(testTimeout))
@@ -148,7 +148,7 @@
 	}
 	last := f.propose(f.members["v0"])
 	f.await(f.members["v1"], "at the next", freshAtIndex(last.Index))
-	if v := a.View(); v.State.Hash != forkedState.Hash || v.Fresh {
+	if v := a.View(); v.State.Hash != forkedState.Hash || v.WithinLease {
 		t.Errorf("%+v", v)
 	}
 	bad := logentry.Hash{1}
--- a/internal/fleet/replog/hub.go
+++ b/internal/fleet/replog/hub.go
@@ -18,7 +18,7 @@
 type View struct {
 	State         *logentry.State
 	ConfirmedAt   time.Time // when a leader's word was last known to hold; by the monotonic clock
-	Fresh         bool      // that was within the lease
+	WithinLease   bool      // that was within the lease
 	Role          string    // leader, voter, follower; waiting or memory for a voter without a vote
 	Leader        string    // its name, as far as known
 	DiskError     string    // what is wrong with the disk; empty for nothing
@@ -44,61 +44,61 @@
 }
 
 func newPublisher(initial *logentry.State) *publisher {
-	created := &publisher{viewChanged: make(chan struct{}), anythingChanged: make(chan struct{})}
-	created.view.Store(&View{State: initial, Role: "follower"})
-	return created
+	p := &publisher{viewChanged: make(chan struct{}), anythingChanged: make(chan struct{})}
+	p.view.Store(&View{State: initial, Role: "follower"})
+	return p
 }
 
 // edit publishes a changed copy of the view. The lock is held.
-func (h *publisher) publish(edit func(*View), notify bool) {
-	view := *h.view.Load()
+func (p *publisher) publish(edit func(*View), notify bool) {
+	view := *p.view.Load()
 	edit(&view)
-	h.view.Store(&view)
-	close(h.anythingChanged)
-	h.anythingChanged = make(chan struct{})
+	p.view.Store(&view)
+	close(p.anythingChanged)
+	p.anythingChanged = make(chan struct{})
 	if notify {
-		close(h.viewChanged)
-		h.viewChanged = make(chan struct{})
+		close(p.viewChanged)
+		p.viewChanged = make(chan struct{})
 	}
 }
 
 // change edits what is said beside the state.
-func (h *publisher) updateView(edit func(*View)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.publish(edit, true)
+func (p *publisher) updateView(edit func(*View)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.publish(edit, true)
 }
 
 // put publishes the state after an entry, unless a later one is known.
-func (h *publisher) publishState(next *logentry.State, raw []byte) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	current := h.view.Load().State.Index
+func (p *publisher) publishState(next *logentry.State, raw []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current := p.view.Load().State.Index
 	if next.Index <= current {
 		return
 	}
 	if next.Index != current+1 {
-		h.entries, h.entryBytes = nil, 0
+		p.entries, p.entryBytes = nil, 0
 	}
 	if raw != nil {
-		h.entries, h.entryBytes = append(h.entries, committedEntry{next.Index, next.Hash, raw}), h.entryBytes+len(raw)
+		p.entries, p.entryBytes = append(p.entries, committedEntry{next.Index, next.Hash, raw}), p.entryBytes+len(raw)
 	} else {
-		h.entries, h.entryBytes = nil, 0
+		p.entries, p.entryBytes = nil, 0
 	}
 	dropped := 0
-	for ; len(h.entries)-dropped > maxKeptEntries || h.entryBytes > maxKeptBytes; dropped++ {
-		h.entryBytes -= len(h.entries[dropped].raw)
+	for ; len(p.entries)-dropped > maxKeptEntries || p.entryBytes > maxKeptBytes; dropped++ {
+		p.entryBytes -= len(p.entries[dropped].raw)
 	}
-	h.entries = h.entries[dropped:]
-	h.publish(func(v *View) { v.State = next }, true)
+	p.entries = p.entries[dropped:]
+	p.publish(func(v *View) { v.State = next }, true)
 }
 
 // heard notes that a leader's word held at a time, and the way that it came.
-func (h *publisher) confirmLeader(at time.Time, leader string, path []string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	old := h.view.Load()
-	h.publish(func(v *View) {
+func (p *publisher) confirmLeader(at time.Time, leader string, path []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.view.Load()
+	p.publish(func(v *View) {
 		if at.After(v.ConfirmedAt) {
 			v.ConfirmedAt = at
 		}
@@ -110,34 +110,34 @@
 }
 
 // since returns the entries after an index; not ok if some are not kept any more.
-func (h *publisher) entriesAfter(index uint64) (entries []committedEntry, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	current := h.view.Load().State.Index
+func (p *publisher) entriesAfter(index uint64) (entries []committedEntry, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	current := p.view.Load().State.Index
 	if index >= current {
 		return nil, true
 	}
-	if missing := current - index; missing <= uint64(len(h.entries)) {
-		return h.entries[uint64(len(h.entries))-missing:], true
+	if missing := current - index; missing <= uint64(len(p.entries)) {
+		return p.entries[uint64(len(p.entries))-missing:], true
 	}
 	return nil, false
 }
 
 // hash returns the chain's hash after an index, if it is still known.
-func (h *publisher) hashAt(index uint64) (logentry.Hash, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s := h.view.Load().State; s.Index == index {
+func (p *publisher) hashAt(index uint64) (logentry.Hash, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.view.Load().State; s.Index == index {
 		return s.Hash, true
 	}
-	if kept := len(h.entries); kept > 0 && index >= h.entries[0].index && index <= h.entries[kept-1].index {
-		return h.entries[index-h.entries[0].index].hash, true
+	if kept := len(p.entries); kept > 0 && index >= p.entries[0].index && index <= p.entries[kept-1].index {
+		return p.entries[index-p.entries[0].index].hash, true
 	}
 	return logentry.Hash{}, false
 }
 
-func (h *publisher) changes() (viewChanged, anythingChanged <-chan struct{}) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.viewChanged, h.anythingChanged
+func (p *publisher) changes() (viewChanged, anythingChanged <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.viewChanged, p.anythingChanged
 }
--- a/internal/fleet/replog/listen.go
+++ b/internal/fleet/replog/listen.go
@@ -38,22 +38,22 @@
 }
 
 // serve hands each connection of a member to take, until ctx ends; then all are closed.
-func (p *transport) serve(ctx context.Context, handle func(kind byte, conn *sealedConn)) error {
+func (t *transport) serve(ctx context.Context, handle func(kind byte, conn *sealedConn)) error {
 	stop := context.AfterFunc(ctx, func() {
-		_ = p.Close()
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		for conn := range p.conns {
+		_ = t.Close()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for conn := range t.conns {
 			_ = conn.Close()
 		}
-		for _, conn := range p.handshaking {
+		for _, conn := range t.handshaking {
 			_ = conn.Close()
 		}
 	})
 	defer stop()
-	defer p.wg.Wait()
+	defer t.wg.Wait()
 	for {
-		conn, err := p.Accept()
+		conn, err := t.Accept()
 		if ctx.Err() != nil {
 			if err == nil {
 				_ = conn.Close()
@@ -67,61 +67,61 @@
 			}
 			continue
 		}
-		p.mu.Lock()
-		if len(p.handshaking) >= maxHandshakes {
-			_ = p.handshaking[0].Close()
-			p.handshaking = p.handshaking[1:]
+		t.mu.Lock()
+		if len(t.handshaking) >= maxHandshakes {
+			_ = t.handshaking[0].Close()
+			t.handshaking = t.handshaking[1:]
 		}
-		p.handshaking = append(p.handshaking, conn)
-		p.mu.Unlock()
-		p.wg.Go(func() { p.serveConn(ctx, conn, handle) })
+		t.handshaking = append(t.handshaking, conn)
+		t.mu.Unlock()
+		t.wg.Go(func() { t.serveConn(ctx, conn, handle) })
 	}
 }
 
 // greet lets in who holds the key. Until the first frame is opened a caller costs one
 // derivation, and is cut off after a time.
-func (p *transport) serveConn(ctx context.Context, conn net.Conn, handle func(purpose byte, conn *sealedConn)) {
+func (t *transport) serveConn(ctx context.Context, conn net.Conn, handle func(purpose byte, conn *sealedConn)) {
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	sealed, err := handshake(conn, p.key, false)
+	sealed, err := handshake(conn, t.key, false)
 	var purpose [1]byte
 	if err == nil {
 		_, err = sealed.Read(purpose[:])
 	}
-	p.mu.Lock()
-	for i := range p.handshaking {
-		if p.handshaking[i] == conn {
-			p.handshaking = append(p.handshaking[:i:i], p.handshaking[i+1:]...)
+	t.mu.Lock()
+	for i := range t.handshaking {
+		if t.handshaking[i] == conn {
+			t.handshaking = append(t.handshaking[:i:i], t.handshaking[i+1:]...)
 			break
 		}
 	}
-	if err != nil || len(p.conns) >= maxConns || ctx.Err() != nil {
-		p.mu.Unlock()
+	if err != nil || len(t.conns) >= maxConns || ctx.Err() != nil {
+		t.mu.Unlock()
 		return
 	}
-	p.conns[conn] = struct{}{}
-	p.mu.Unlock()
+	t.conns[conn] = struct{}{}
+	t.mu.Unlock()
 	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.conns, conn)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, conn)
 	}()
 	_ = conn.SetDeadline(time.Time{})
 	handle(purpose[0], sealed)
 }
 
 // dial calls a member.
-func (p *transport) dial(ctx context.Context, addr string, purpose byte, timeout time.Duration) (*sealedConn, error) {
+func (t *transport) dial(ctx context.Context, addr string, purpose byte, timeout time.Duration) (*sealedConn, error) {
 	dialer := net.Dialer{Timeout: timeout}
-	if !p.localIP.IsUnspecified() {
-		dialer.LocalAddr = &net.TCPAddr{IP: p.localIP}
+	if !t.localIP.IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: t.localIP}
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Now().Add(timeout))
-	sealed, err := handshake(conn, p.key, true)
+	sealed, err := handshake(conn, t.key, true)
 	if err == nil {
 		_, err = sealed.Write([]byte{purpose})
 	}
--- a/internal/fleet/replog/number_test.go
+++ b/internal/fleet/replog/number_test.go
@@ -92,8 +92,8 @@
 						t.Fatalf("taken for younger by %v", got.Sub(last))
 					}
 				}
-				if got := heard(); !got.Equal(last) || down.View().Fresh {
-					t.Errorf("a lease later: a word of %v ago, fresh %v", time.Since(got), down.View().Fresh)
+				if got := heard(); !got.Equal(last) || down.View().WithinLease {
+					t.Errorf("a lease later: a word of %v ago, fresh %v", time.Since(got), down.View().WithinLease)
 				}
 			})
 		})
--- a/internal/fleet/replog/options.go
+++ b/internal/fleet/replog/options.go
@@ -35,19 +35,19 @@
 
 // Options say how a member takes part.
 type Options struct {
-	Name        string // unique in the fleet; who is among Voters votes
-	Zone        string
-	Dir         string // for its files
-	Bind        string // HOST:PORT, TCP; calls go out from the same address
-	Advertise   string // where the others reach it, if that is elsewhere
-	Voters      []Voter
-	Key         []byte // the fleet's; 16 bytes at least
-	Genesis     logentry.Genesis
-	Lease       time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
-	Peers       func() []Peer // nil where only the voters are known
-	RaftLog     io.Writer     // raft's own lines, each with [DEBUG] in front
-	Mutations   Mutations
-	InjectFault func(op string) error // asked before each write to the disk, for tests; may be nil
+	Name          string // unique in the fleet; who is among Voters votes
+	Zone          string
+	Dir           string // for its files
+	Bind          string // HOST:PORT, TCP; calls go out from the same address
+	Advertise     string // where the others reach it, if that is elsewhere
+	Voters        []Voter
+	Key           []byte // the fleet's; 16 bytes at least
+	Genesis       logentry.Genesis
+	Lease         time.Duration // whoever has not heard for so long is not fresh; 2 s if zero
+	Peers         func() []Peer // nil where only the voters are known
+	RaftLogOutput io.Writer     // raft's own lines, each with [DEBUG] in front
+	Mutations     Mutations
+	InjectFault   func(op string) error // asked before each write to the disk, for tests; may be nil
 }
 
 const (
@@ -58,33 +58,33 @@
 )
 
 // check fills in what was left out and names the key that can't be worked with.
-func (options *Options) normalize() error {
-	if options.Lease == 0 {
-		options.Lease = defaultLease
+func (o *Options) normalize() error {
+	if o.Lease == 0 {
+		o.Lease = defaultLease
 	}
-	if options.RaftLog == nil {
-		options.RaftLog = io.Discard
+	if o.RaftLogOutput == nil {
+		o.RaftLogOutput = io.Discard
 	}
-	if options.Peers == nil {
-		options.Peers = func() []Peer { return nil }
+	if o.Peers == nil {
+		o.Peers = func() []Peer { return nil }
 	}
-	if options.InjectFault == nil {
-		options.InjectFault = func(string) error { return nil }
+	if o.InjectFault == nil {
+		o.InjectFault = func(string) error { return nil }
 	}
 	switch {
-	case options.Name == "" || len(options.Name) > maxNameLength:
-		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", options.Name, maxNameLength)
-	case options.Dir == "":
+	case o.Name == "" || len(o.Name) > maxNameLength:
+		return fmt.Errorf("fleet.name: %q, want 1 to %d bytes", o.Name, maxNameLength)
+	case o.Dir == "":
 		return errors.New("fleet.record.dir: empty, want a folder")
-	case len(options.Key) < minKeyLength:
-		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(options.Key), minKeyLength)
-	case options.Lease < minLease:
-		return fmt.Errorf("fleet.record.lease: %v, want %v at least", options.Lease, minLease)
+	case len(o.Key) < minKeyLength:
+		return fmt.Errorf("fleet.key: %d bytes, want %d at least", len(o.Key), minKeyLength)
+	case o.Lease < minLease:
+		return fmt.Errorf("fleet.record.lease: %v, want %v at least", o.Lease, minLease)
 	}
-	if _, err := netip.ParseAddrPort(options.Bind); err != nil {
+	if _, err := netip.ParseAddrPort(o.Bind); err != nil {
 		return fmt.Errorf("fleet.record.bind: %w", err)
 	}
-	return CheckVoters(options.Voters)
+	return CheckVoters(o.Voters)
 }
 
 // CheckVoters tells whether a set of voters can be worked with: 3 or 5, and where zones are
--- a/internal/fleet/replog/raftstore.go
+++ b/internal/fleet/replog/raftstore.go
@@ -62,24 +62,24 @@
 }
 
 // FirstIndex returns the first entry's index, or 0.
-func (d *voterStore) FirstIndex() (uint64, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.firstIndex, nil
+func (s *voterStore) FirstIndex() (uint64, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.firstIndex, nil
 }
 
 // LastIndex returns the last entry's index, or 0.
-func (d *voterStore) LastIndex() (uint64, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.lastIndex, nil
+func (s *voterStore) LastIndex() (uint64, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.lastIndex, nil
 }
 
 // GetLog reads one entry.
-func (d *voterStore) GetLog(index uint64, entry *raft.Log) error {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	stored, ok := d.entries[index]
+func (s *voterStore) GetLog(index uint64, entry *raft.Log) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	stored, ok := s.entries[index]
 	if !ok {
 		return raft.ErrLogNotFound
 	}
@@ -88,21 +88,21 @@
 }
 
 // StoreLog writes one entry.
-func (d *voterStore) StoreLog(entry *raft.Log) error { return d.StoreLogs([]*raft.Log{entry}) }
+func (s *voterStore) StoreLog(entry *raft.Log) error { return s.StoreLogs([]*raft.Log{entry}) }
 
 // StoreLogs writes entries; they are durable when it returns. Those after a gap, as behind a
 // snapshot that came from the leader, take the place of all before them.
-func (d *voterStore) StoreLogs(entries []*raft.Log) error {
+func (s *voterStore) StoreLogs(entries []*raft.Log) error {
 	if len(entries) == 0 {
 		return nil
 	}
-	if last, _ := d.LastIndex(); last != 0 && entries[0].Index > last+1 {
-		first, _ := d.FirstIndex()
-		if err := d.DeleteRange(first, last); err != nil {
+	if last, _ := s.LastIndex(); last != 0 && entries[0].Index > last+1 {
+		first, _ := s.FirstIndex()
+		if err := s.DeleteRange(first, last); err != nil {
 			return err
 		}
 	}
-	return d.update("log", func(tx *store.Tx) error {
+	return s.update("log", func(tx *store.Tx) error {
 		bucket := tx.Bucket(logsBucket)
 		for _, entry := range entries {
 			if err := bucket.Put(binary.BigEndian.AppendUint64(nil, entry.Index), encodeLog(entry)); err != nil {
@@ -113,18 +113,18 @@
 	}, func() {
 		for _, entry := range entries {
 			copied := *entry
-			d.entries[entry.Index] = &copied
-			d.lastIndex = max(d.lastIndex, entry.Index)
-			if d.firstIndex == 0 || entry.Index < d.firstIndex {
-				d.firstIndex = entry.Index
+			s.entries[entry.Index] = &copied
+			s.lastIndex = max(s.lastIndex, entry.Index)
+			if s.firstIndex == 0 || entry.Index < s.firstIndex {
+				s.firstIndex = entry.Index
 			}
 		}
 	})
 }
 
 // DeleteRange drops entries, both ends too.
-func (d *voterStore) DeleteRange(from, to uint64) error {
-	return d.update("log", func(tx *store.Tx) error {
+func (s *voterStore) DeleteRange(from, to uint64) error {
+	return s.update("log", func(tx *store.Tx) error {
 		bucket := tx.Bucket(logsBucket)
 		for index := from; index <= to; index++ {
 			if err := bucket.Delete(binary.BigEndian.AppendUint64(nil, index)); err != nil {
@@ -134,13 +134,13 @@
 		return nil
 	}, func() {
 		for index := from; index <= to; index++ {
-			delete(d.entries, index)
+			delete(s.entries, index)
 		}
-		d.firstIndex, d.lastIndex = 0, 0
-		for index := range d.entries {
-			d.lastIndex = max(d.lastIndex, index)
-			if d.firstIndex == 0 || index < d.firstIndex {
-				d.firstIndex = index
+		s.firstIndex, s.lastIndex = 0, 0
+		for index := range s.entries {
+			s.lastIndex = max(s.lastIndex, index)
+			if s.firstIndex == 0 || index < s.firstIndex {
+				s.firstIndex = index
 			}
 		}
 	})
@@ -149,24 +149,24 @@
 // Set writes a value. A vote is its term and its candidate: the term comes first and waits
 // for the other, as half a vote, met again after a crash, would be taken for one that was
 // given to the candidate before.
-func (d *voterStore) Set(key, value []byte) error {
+func (s *voterStore) Set(key, value []byte) error {
 	value = bytes.Clone(value)
 	if bytes.Equal(key, voteTermKey) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.pendingVoteTerm = value
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.pendingVoteTerm = value
 		return nil
 	}
-	d.mu.RLock()
-	pairs, unchanged := map[string][]byte{string(key): value}, bytes.Equal(d.stable[string(key)], value)
-	if bytes.Equal(key, voteKey) && d.pendingVoteTerm != nil {
-		pairs[string(voteTermKey)], unchanged = d.pendingVoteTerm, false
+	s.mu.RLock()
+	pairs, unchanged := map[string][]byte{string(key): value}, bytes.Equal(s.stable[string(key)], value)
+	if bytes.Equal(key, voteKey) && s.pendingVoteTerm != nil {
+		pairs[string(voteTermKey)], unchanged = s.pendingVoteTerm, false
 	}
-	d.mu.RUnlock()
+	s.mu.RUnlock()
 	if unchanged {
 		return nil
 	}
-	return d.update("vote", func(tx *store.Tx) error {
+	return s.update("vote", func(tx *store.Tx) error {
 		for k, v := range pairs {
 			if err := tx.Bucket(stableBucket).Put([]byte(k), v); err != nil {
 				return err
@@ -174,24 +174,24 @@
 		}
 		return nil
 	}, func() {
-		d.pendingVoteTerm = nil
+		s.pendingVoteTerm = nil
 		for k, v := range pairs {
-			d.stable[k] = v
+			s.stable[k] = v
 		}
 	})
 }
 
 // Get reads a value; none is empty.
-func (d *voterStore) Get(key []byte) ([]byte, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.stable[string(key)], nil
+func (s *voterStore) Get(key []byte) ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.stable[string(key)], nil
 }
 
 // SetUint64 writes a number. Raft panics where its term can't be written, so that is told
 // as done: by then every connection of raft's is cut, and nobody hears of the new term.
-func (d *voterStore) SetUint64(key []byte, n uint64) error {
-	err := d.Set(key, binary.BigEndian.AppendUint64(nil, n))
+func (s *voterStore) SetUint64(key []byte, n uint64) error {
+	err := s.Set(key, binary.BigEndian.AppendUint64(nil, n))
 	if bytes.Equal(key, termKey) {
 		return nil
 	}
@@ -199,8 +199,8 @@
 }
 
 // GetUint64 reads a number; none is 0.
-func (d *voterStore) GetUint64(key []byte) (uint64, error) {
-	value, _ := d.Get(key)
+func (s *voterStore) GetUint64(key []byte) (uint64, error) {
+	value, _ := s.Get(key)
 	if len(value) != 8 {
 		return 0, nil
 	}
--- a/internal/fleet/replog/record.go
+++ b/internal/fleet/replog/record.go
@@ -102,7 +102,7 @@
 // View returns what this member knows now.
 func (r *Replica) View() View {
 	v := *r.publisher.view.Load()
-	v.Fresh = r.options.Mutations.AlwaysFresh || !v.ConfirmedAt.IsZero() && time.Since(v.ConfirmedAt) < r.options.Lease
+	v.WithinLease = r.options.Mutations.AlwaysFresh || !v.ConfirmedAt.IsZero() && time.Since(v.ConfirmedAt) < r.options.Lease
 	return v
 }
 
@@ -128,8 +128,8 @@
 	defer ticker.Stop()
 	wasFresh := false
 	for {
-		if v := r.View(); v.Fresh != wasFresh {
-			if wasFresh = v.Fresh; wasFresh {
+		if v := r.View(); v.WithinLease != wasFresh {
+			if wasFresh = v.WithinLease; wasFresh {
 				slog.Info("record: heard again", "index", v.State.Index, "leader", v.Leader)
 			} else {
 				slog.Info("record: nothing heard for the lease, holding to what was committed last", "index", v.State.Index, "lease", r.options.Lease)
--- a/internal/fleet/replog/snapshot.go
+++ b/internal/fleet/replog/snapshot.go
@@ -72,8 +72,8 @@
 }
 
 // Create begins a snapshot.
-func (d *voterStore) Create(version raft.SnapshotVersion, index, term uint64, configuration raft.Configuration, configurationIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
-	return &snapshotSink{store: d, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
+func (s *voterStore) Create(version raft.SnapshotVersion, index, term uint64, configuration raft.Configuration, configurationIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
+	return &snapshotSink{store: s, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
 		Configuration: configuration, ConfigurationIndex: configurationIndex}}, nil
 }
 
@@ -111,23 +111,23 @@
 }
 
 // List returns the one there is.
-func (d *voterStore) List() ([]*raft.SnapshotMeta, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	if d.snapshot == nil {
+func (s *voterStore) List() ([]*raft.SnapshotMeta, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.snapshot == nil {
 		return nil, nil
 	}
-	meta := d.snapshot.Meta
+	meta := s.snapshot.Meta
 	return []*raft.SnapshotMeta{&meta}, nil
 }
 
 // Open reads it.
-func (d *voterStore) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	if d.snapshot == nil || d.snapshot.Meta.ID != id {
+func (s *voterStore) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.snapshot == nil || s.snapshot.Meta.ID != id {
 		return nil, nil, fmt.Errorf("snapshot %q: not kept", id)
 	}
-	meta := d.snapshot.Meta
-	return &meta, io.NopCloser(bytes.NewReader(d.snapshot.Data)), nil
+	meta := s.snapshot.Meta
+	return &meta, io.NopCloser(bytes.NewReader(s.snapshot.Data)), nil
 }
--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -70,11 +70,11 @@
 			return state, nil
 		}
 		_ = file.Close()
-		aside, renameErr := setAside(f.path(), label)
+		quarantinePath, renameErr := quarantineFile(f.path(), label)
 		if renameErr != nil {
 			return nil, errors.Join(err, renameErr)
 		}
-		slog.Warn("record: state set aside", "why", err, "as", aside)
+		slog.Warn("record: state set aside", "why", err, "as", quarantinePath)
 	}
 	return nil, fmt.Errorf("store %s: a fresh one is bad too", f.path())
 }
--- a/internal/fleet/replog/voter.go
+++ b/internal/fleet/replog/voter.go
@@ -73,13 +73,13 @@
 	defer cancel()
 	layer := newRaftLayer(ctx, r.transport, r.self.Addr)
 	defer func() { _ = layer.Close() }()
-	store, setAsideReason, err := openVoterStore(&r.options, func() { _ = layer.Close() })
+	store, quarantineReason, err := openVoterStore(&r.options, func() { _ = layer.Close() })
 	if err != nil {
 		return err
 	}
 	defer func() { _ = store.close() }()
-	if setAsideReason != "" {
-		slog.Warn("record: votes set aside", "why", setAsideReason)
+	if quarantineReason != "" {
+		slog.Warn("record: votes set aside", "why", quarantineReason)
 	}
 	r.voterInfo.Store(&voterInfo{StoreID: store.store.ID.String(), Bootstrapped: !store.isBlank(), BootstrapStores: store.bootstrapStores})
 	defer r.voterInfo.Store(nil)
@@ -97,8 +97,8 @@
 	config.ShutdownOnRemove = false
 	leadership := make(chan bool, 8)
 	config.NotifyCh = leadership
-	config.LogOutput, config.LogLevel = debugWriter{r.options.RaftLog}, "INFO"
-	raftTransport := raft.NewNetworkTransport(layer, 3, r.options.peerTimeout(), debugWriter{r.options.RaftLog})
+	config.LogOutput, config.LogLevel = debugWriter{r.options.RaftLogOutput}, "INFO"
+	raftTransport := raft.NewNetworkTransport(layer, 3, r.options.peerTimeout(), debugWriter{r.options.RaftLogOutput})
 	defer func() { _ = raftTransport.Close() }()
 	raftNode, err := raft.NewRaft(config, &stateMachine{r, r.initialState}, store, store, store, raftTransport)
 	if err != nil {
