--- a/cmd/coralrelay/command_test.go
+++ b/cmd/coralrelay/command_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-func TestCommand(t *testing.T) {
+func TestRunCommand(t *testing.T) {
 	for _, tt := range []struct {
 		args, served, says, fails string
 	}{
--- a/cmd/coralrelay/descriptors_test.go
+++ b/cmd/coralrelay/descriptors_test.go
@@ -27,14 +27,14 @@
 // comes back within a second of discovery's return, who stands stays, and new callers are
 // served.
 func TestFloodWhileDiscoveryIsDown(t *testing.T) {
-	const hops, sockets = 60, 160
+	const endpoints, sockets = 60, 160
 	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
 	var got atomic.Int32
-	hop := listen(t, nextHop(&got))
+	upstreamAddr := listen(t, serveUpstream(&got))
 	list := fake.NewDiscovery()
 	t.Cleanup(list.Close)
-	for i := range hops { // s1 first, which the node knows by its configuration
-		list.Set(fmt.Sprint("s", i+1), fake.Active, time.Time{}, map[string]string{"n0": hop})
+	for i := range endpoints { // s1 first, which the node knows by its configuration
+		list.Set(fmt.Sprint("s", i+1), fake.Active, time.Time{}, map[string]string{"n0": upstreamAddr})
 	}
 	behind, err := list.Listen("n0")
 	if err != nil {
@@ -58,22 +58,22 @@
 		go func() { _, _ = io.Copy(to, conn) }()
 		_, _ = io.Copy(conn, to)
 	})
-	addr, path := free(t), filepath.Join(t.TempDir(), "config.json")
-	configure(t, path, addr, discovery, hop, sockets)
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, addr, discovery, upstreamAddr, sockets)
 	p := startProcess(t, path, t.TempDir(), nil)
-	p.until("PING", "200")
-	p.untilHas(fmt.Sprintf("balancer.registry_entries:%d|g\r\n", hops))
-	var standing []*client
+	p.untilAnswer("PING", "200")
+	p.untilMetrics(fmt.Sprintf("balancer.registry_entries:%d|g\r\n", endpoints))
+	var sessions []*client
 	for i := range 10 {
-		c := call(t, addr, open(fmt.Sprint("a", i)))
-		if s := c.line(); s != "UP r1" {
+		c := dialClient(t, addr, openLine(fmt.Sprint("a", i)))
+		if s := c.readLine(); s != "UP r1" {
 			t.Fatalf("connection %d: %q", i, s)
 		}
-		standing = append(standing, c)
+		sessions = append(sessions, c)
 	}
 	for i := range 300 { // until all are probed
-		c := call(t, addr, open(fmt.Sprint("p", i)))
-		_ = c.line()
+		c := dialClient(t, addr, openLine(fmt.Sprint("p", i)))
+		_ = c.readLine()
 		c.Close()
 	}
 
@@ -81,9 +81,9 @@
 	down.Store(true)
 	watches.Range(func(conn, to any) bool { conn.(net.Conn).Close(); to.(net.Conn).Close(); return true })
 	stop := make(chan struct{})
-	var crowd sync.WaitGroup
+	var flood sync.WaitGroup
 	for n := range 8 {
-		crowd.Go(func() {
+		flood.Go(func() {
 			var kept []net.Conn
 			defer func() {
 				for _, c := range kept {
@@ -100,7 +100,7 @@
 				if err != nil {
 					continue
 				}
-				fmt.Fprint(c, []string{"", "HELLO\r\n", strings.Repeat("x", 6000), open(fmt.Sprintf("f%d.%d", n, i))}[i%4])
+				fmt.Fprint(c, []string{"", "HELLO\r\n", strings.Repeat("x", 6000), openLine(fmt.Sprintf("f%d.%d", n, i))}[i%4])
 				if kept = append(kept, c); len(kept) > 100 {
 					kept[0].Close()
 					kept = kept[1:]
@@ -110,30 +110,30 @@
 	}
 	time.Sleep(2 * time.Second) // of the outage
 	down.Store(false)
-	back := time.Now()
-	for watched.Load() == before && time.Since(back) < patience {
+	restoredAt := time.Now()
+	for watched.Load() == before && time.Since(restoredAt) < testTimeout {
 		time.Sleep(time.Millisecond)
 	}
 	// A call may have failed just before, and the pause after it is under 2 s.
-	if took := time.Since(back); took > 3*time.Second {
+	if took := time.Since(restoredAt); took > 3*time.Second {
 		t.Errorf("the watch came back after %v", took)
 	}
-	for i, c := range standing {
-		c.SetDeadline(time.Now().Add(patience))
+	for i, c := range sessions {
+		c.SetDeadline(time.Now().Add(testTimeout))
 		fmt.Fprint(c, "are you there\r\n")
-		if s := c.line(); s != "yes" {
+		if s := c.readLine(); s != "yes" {
 			t.Errorf("standing connection %d: %q", i, s)
 		}
 	}
-	usual := call(t, addr, open("usual"))
-	if s, _ := usual.r.ReadString('\n'); s != "UP r1\r\n" && s != "BUSY 500\r\n" {
+	ordinary := dialClient(t, addr, openLine("usual"))
+	if s, _ := ordinary.reader.ReadString('\n'); s != "UP r1\r\n" && s != "BUSY 500\r\n" {
 		t.Errorf("a usual caller in the crowd: %q", s)
 	}
 	close(stop)
-	crowd.Wait()
+	flood.Wait()
 	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
-		c := call(t, addr, open(fmt.Sprint("after", begun.UnixNano())))
-		if c.line() == "UP r1" {
+		c := dialClient(t, addr, openLine(fmt.Sprint("after", begun.UnixNano())))
+		if c.readLine() == "UP r1" {
 			break
 		}
 		if time.Since(begun) > 4*time.Second {
@@ -142,25 +142,25 @@
 		begun = begun.Add(1)
 	}
 	p.signal(syscall.SIGKILL)
-	_ = p.ends(patience)
+	_ = p.awaitExit(testTimeout)
 	if log := p.log.String(); strings.Contains(log, "too many open files") {
 		t.Errorf("descriptors ran out:\n%s", log)
 	}
 }
 
 // taker keeps what is handed over.
-type taker chan [2]net.Conn
+type connReceiver chan [2]net.Conn
 
-func (k taker) Adopt(_ proxy.EstablishedSession, caller, hop net.Conn) bool {
-	k <- [2]net.Conn{caller, hop}
+func (r connReceiver) Adopt(_ proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
+	r <- [2]net.Conn{downstreamConn, upstreamConn}
 	return true
 }
-func (taker) Learn(balance.LearnedState) {}
+func (connReceiver) Learn(balance.LearnedState) {}
 
 // No socket holds small writes back: not one that was accepted, at a listener of the node's
 // own or an inherited one, not one that was handed over, nor one that the node dials.
-func TestNoDelay(t *testing.T) {
-	noDelay := func(what string, conn net.Conn) {
+func TestAllSocketsHaveNoDelay(t *testing.T) {
+	expectNoDelay := func(what string, conn net.Conn) {
 		t.Helper()
 		raw, err := conn.(syscall.Conn).SyscallConn()
 		if err != nil {
@@ -188,11 +188,11 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { near.Close(); far.Close() })
-		noDelay(what, near)
+		expectNoDelay(what, near)
 		return [2]net.Conn{near, far}
 	}
 	ends := accepted("accepted", "127.0.0.1:0", 0)
-	_, file := held(t)
+	_, file := listeningSocket(t)
 	copied, err := syscall.Dup(int(file.Fd()))
 	if err != nil {
 		t.Fatal(err)
@@ -200,38 +200,38 @@
 	accepted("accepted at an inherited listener", "", copied)
 
 	ctx, cancel := context.WithCancel(t.Context())
-	var parts sync.WaitGroup
-	to, dir := make(taker, 1), t.TempDir()
-	if err := hotrestart.Listen(ctx, &parts, dir, "n0", to); err != nil {
+	var goroutines sync.WaitGroup
+	receiver, dir := make(connReceiver, 1), t.TempDir()
+	if err := hotrestart.Listen(ctx, &goroutines, dir, "n0", receiver); err != nil {
 		t.Fatal(err)
 	}
-	g, err := hotrestart.Dial(dir, "n0")
+	sender, err := hotrestart.Dial(dir, "n0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, end := range ends { // what the taker has is its own doing
 		end.(*net.TCPConn).SetNoDelay(false)
 	}
-	if !g.Take(proxy.EstablishedSession{}, ends[0], ends[1]) {
+	if !sender.Take(proxy.EstablishedSession{}, ends[0], ends[1]) {
 		t.Fatal("not taken")
 	}
-	for i, conn := range <-to {
-		noDelay([]string{"a caller that was handed over", "a next hop that was"}[i], conn)
+	for i, conn := range <-receiver {
+		expectNoDelay([]string{"a caller that was handed over", "a next hop that was"}[i], conn)
 		conn.Close()
 	}
-	g.Close()
+	sender.Close()
 	cancel()
-	parts.Wait()
+	goroutines.Wait()
 
 	addr := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	for what, dial := range map[string]func(context.Context, string, time.Time) (net.Conn, error){
 		"to a next hop": upstream.New(t.Context(), upstream.Limits{}).Dial, "to discovery": discovery.New(addr, nil).Dial,
 	} {
-		conn, err := dial(t.Context(), addr, time.Now().Add(patience))
+		conn, err := dial(t.Context(), addr, time.Now().Add(testTimeout))
 		if err != nil {
 			t.Fatal(err)
 		}
-		noDelay(what, conn)
+		expectNoDelay(what, conn)
 		conn.Close()
 	}
 }
--- a/cmd/coralrelay/inherited_test.go
+++ b/cmd/coralrelay/inherited_test.go
@@ -11,12 +11,12 @@
 // it: this process still hears of new clients, and leaves in its time.
 func TestListenerMadeBlocking(t *testing.T) {
 	var got atomic.Int32
-	hop := listen(t, nextHop(&got))
-	addr, file := held(t)
+	upstreamAddr := listen(t, serveUpstream(&got))
+	addr, file := listeningSocket(t)
 	path, tmp := filepath.Join(t.TempDir(), "config.json"), t.TempDir()
-	configure(t, path, addr, names(t, hop), hop, 256)
+	writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 256)
 	p := startProcess(t, path, tmp, file)
-	p.until("PING", "200")
+	p.untilAnswer("PING", "200")
 	raw, err := file.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
@@ -27,12 +27,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var c *client
+	var session *client
 	for _, id := range []string{"a", "b"} { // behind each the next accept blocks
-		c = call(t, addr, open(id))
-		if s := c.line(); s != "UP r1" {
+		session = dialClient(t, addr, openLine(id))
+		if s := session.readLine(); s != "UP r1" {
 			t.Errorf("%s: %q", id, s)
 		}
 	}
-	p.movesAndEnds(c)
+	p.expectMoveAndExit(session)
 }
--- a/cmd/coralrelay/outlives_test.go
+++ b/cmd/coralrelay/outlives_test.go
@@ -11,35 +11,35 @@
 
 // No goroutine of the callers' side or of a part that serve starts outlives its end,
 // whatever callers and next hops were doing.
-func TestNothingOutlivesTheEnd(t *testing.T) {
+func TestNoGoroutineOutlivesServe(t *testing.T) {
 	var got atomic.Int32
-	mute, asked := make(chan struct{}), make(chan struct{}, 64)
-	addr, terminate, done := node(t, listen(t, func(conn net.Conn) {
+	unresponsive, received := make(chan struct{}), make(chan struct{}, 64)
+	addr, terminate, done := startNode(t, listen(t, func(conn net.Conn) {
 		select {
-		case <-mute:
+		case <-unresponsive:
 			for lines := bufio.NewScanner(conn); lines.Scan(); { // takes all and answers nothing
 				if strings.HasPrefix(lines.Text(), "OPEN") {
-					asked <- struct{}{}
+					received <- struct{}{}
 				}
 			}
 		default:
-			nextHop(&got)(conn)
+			serveUpstream(&got)(conn)
 		}
 	}), 1024)
-	stands := call(t, addr, open("a"))
-	if s := stands.line(); s != "UP r1" {
+	session := dialClient(t, addr, openLine("a"))
+	if s := session.readLine(); s != "UP r1" {
 		t.Fatal(s)
 	}
-	close(mute)
-	parties := []*client{stands, call(t, addr, ""), call(t, addr, "OPEN b k1 c=fe"), call(t, addr, "OPEN c k1 c=feed,d=40000,at=s1\r\n")}
-	<-asked
-	call(t, addr, "HELLO\r\n") // is read out, and stays
+	close(unresponsive)
+	clients := []*client{session, dialClient(t, addr, ""), dialClient(t, addr, "OPEN b k1 c=fe"), dialClient(t, addr, "OPEN c k1 c=feed,d=40000,at=s1\r\n")}
+	<-received
+	dialClient(t, addr, "HELLO\r\n") // is read out, and stays
 	terminate()
 	for i, want := range []string{"MOVE\r\n", "BUSY 500\r\n", "BUSY 500\r\n", "ERR\r\n"} {
-		if s := parties[i].rest(); s != want {
+		if s := clients[i].readToEnd(); s != want {
 			t.Errorf("party %d: %q, want %q", i, s, want)
 		}
-		parties[i].Close()
+		clients[i].Close()
 	}
 	if err := <-done; err != nil {
 		t.Error(err)
--- a/cmd/coralrelay/pushed_test.go
+++ b/cmd/coralrelay/pushed_test.go
@@ -13,7 +13,7 @@
 
 // A node whose list is pushed has its watch from its first moment, and anew when one has
 // ended, also by the settings of a reload.
-func TestPushed(t *testing.T) {
+func TestWatchesPushedList(t *testing.T) {
 	calls, end := make(chan string, 8), make(chan bool)
 	discovery := listen(t, func(conn net.Conn) {
 		first := make([]byte, 256)
@@ -23,8 +23,8 @@
 		<-end
 	})
 	defer close(end)
-	addr, path := free(t), filepath.Join(t.TempDir(), "config.json")
-	configure(t, path, addr, discovery, "", 1024)
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, addr, discovery, "", 1024)
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -33,23 +33,23 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	asked := func(from string) {
+	expectWatch := func(from string) {
 		t.Helper()
 		select {
 		case call := <-calls:
 			if !strings.Contains(call, "watch=1&from="+from+" ") {
 				t.Fatalf("asked %q", call)
 			}
-		case <-time.After(patience):
+		case <-time.After(testTimeout):
 			t.Fatal("discovery is never asked")
 		}
 	}
 	p := startProcess(t, path, t.TempDir(), nil)
-	asked("0")
+	expectWatch("0")
 	end <- true
-	asked("5")
+	expectWatch("5")
 	p.signal(syscall.SIGHUP)
-	p.untilHas("balancer.cfg_accepted:1|c")
+	p.untilMetrics("balancer.cfg_accepted:1|c")
 	end <- true
-	asked("5")
+	expectWatch("5")
 }
--- a/cmd/coralrelay/replace_test.go
+++ b/cmd/coralrelay/replace_test.go
@@ -21,17 +21,17 @@
 // process is the node's program, started as the platform does.
 type process struct {
 	*exec.Cmd
-	t    *testing.T
-	mgmt string
-	log  *bytes.Buffer // to be read after its end
-	end  chan error
+	t         *testing.T
+	adminAddr string
+	log       *bytes.Buffer // to be read after its end
+	exited    chan error
 }
 
 // start starts one; inherited, if there is one, becomes its descriptor 4.
 func startProcess(t *testing.T, path, tmp string, inherited *os.File, args ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0], args...), t: t, mgmt: free(t), log: &bytes.Buffer{}, end: make(chan error, 1)}
-	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.mgmt, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
+	p := &process{Cmd: exec.Command(os.Args[0], args...), t: t, adminAddr: freeAddr(t), log: &bytes.Buffer{}, exited: make(chan error, 1)}
+	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.adminAddr, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
 	if inherited != nil {
 		p.Env = append(p.Env, "BALANCER_INHERITED_FD=4")
 		p.ExtraFiles = []*os.File{nil, inherited}
@@ -40,14 +40,14 @@
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.end <- p.Wait() }()
+	go func() { p.exited <- p.Wait() }()
 	t.Cleanup(func() { _ = p.Process.Kill() })
 	return p
 }
 
 // ask makes one call of an operator's.
-func (p *process) ask(call string) string {
-	conn, err := net.Dial("tcp", p.mgmt)
+func (p *process) adminCall(call string) string {
+	conn, err := net.Dial("tcp", p.adminAddr)
 	if err != nil {
 		return err.Error()
 	}
@@ -62,14 +62,14 @@
 }
 
 // until asks until the answer begins as wanted.
-func (p *process) until(call, want string) {
+func (p *process) untilAnswer(call, want string) {
 	p.t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		got := p.ask(call)
+		got := p.adminCall(call)
 		if strings.HasPrefix(got, want) {
 			return
 		}
-		if time.Since(begun) > patience {
+		if time.Since(begun) > testTimeout {
 			p.t.Fatalf("%s: %q, want %q", call, got, want)
 		}
 	}
@@ -83,30 +83,30 @@
 }
 
 // movesAndEnds has it end: what stands is moved, and it ends in good order.
-func (p *process) movesAndEnds(standing *client) {
+func (p *process) expectMoveAndExit(session *client) {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
-	if s := standing.line(); s != "MOVE" {
+	if s := session.readLine(); s != "MOVE" {
 		p.t.Errorf("at the end: %q", s)
 	}
-	if err := p.ends(patience); err != nil {
+	if err := p.awaitExit(testTimeout); err != nil {
 		p.t.Errorf("it ended with %v\n%s", err, p.log)
 	}
 }
 
-func (p *process) ends(within time.Duration) error {
+func (p *process) awaitExit(timeout time.Duration) error {
 	p.t.Helper()
 	select {
-	case err := <-p.end:
+	case err := <-p.exited:
 		return err
-	case <-time.After(within):
-		p.t.Fatalf("it has not ended within %v", within)
+	case <-time.After(timeout):
+		p.t.Fatalf("it has not ended within %v", timeout)
 		return nil
 	}
 }
 
 // held is the clients' listening socket, as the platform holds it.
-func held(t *testing.T) (addr string, file *os.File) {
+func listeningSocket(t *testing.T) (addr string, file *os.File) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -122,45 +122,45 @@
 }
 
 // names is a discovery that names one next hop.
-func names(t *testing.T, hop string) string {
+func startDiscovery(t *testing.T, upstreamAddr string) string {
 	t.Helper()
-	r := fake.NewDiscovery()
-	r.Set("s1", fake.Active, time.Time{}, map[string]string{"n0": hop})
-	addr, err := r.Listen("n0")
+	fakeDiscovery := fake.NewDiscovery()
+	fakeDiscovery.Set("s1", fake.Active, time.Time{}, map[string]string{"n0": upstreamAddr})
+	addr, err := fakeDiscovery.Listen("n0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(r.Close)
+	t.Cleanup(fakeDiscovery.Close)
 	return addr
 }
 
 // A successor takes over while clients keep coming: nobody is turned away or left
 // unread at the door, who said nothing yet is still served, what stands goes on at the
 // successor as if nothing had been, and the old process ends in its time.
-func TestReplaced(t *testing.T) {
+func TestSuccessorTakesOver(t *testing.T) {
 	var got atomic.Int32
-	hop := listen(t, nextHop(&got))
-	discovery := names(t, hop)
-	addr, file := held(t)
+	upstreamAddr := listen(t, serveUpstream(&got))
+	discovery := startDiscovery(t, upstreamAddr)
+	addr, file := listeningSocket(t)
 	dir, tmp := t.TempDir(), t.TempDir()
 	if err := os.WriteFile(filepath.Join(tmp, "coralrelay-"+strings.ReplaceAll(addr, ":", "-")), bytes.Repeat([]byte("stale"), 20), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	path := filepath.Join(dir, "config.json")
-	configure(t, path, addr, discovery, hop, 256)
+	writeConfig(t, path, addr, discovery, upstreamAddr, 256)
 	old := startProcess(t, path, tmp, file)
-	old.until("PING", "200")
-	var standing []*client
+	old.untilAnswer("PING", "200")
+	var sessions []*client
 	for i := range 20 {
-		c := call(t, addr, open(fmt.Sprint("a", i)))
-		if s := c.line(); s != "UP r1" {
+		c := dialClient(t, addr, openLine(fmt.Sprint("a", i)))
+		if s := c.readLine(); s != "UP r1" {
 			t.Fatalf("connection %d: %q", i, s)
 		}
-		standing = append(standing, c)
+		sessions = append(sessions, c)
 	}
 
 	next := startProcess(t, path, tmp, file)
-	next.until("PING", "200")
+	next.untilAnswer("PING", "200")
 	var served sync.WaitGroup
 	stop := make(chan struct{})
 	for n := range 4 { // clients come all the time, some of them in no hurry
@@ -172,12 +172,12 @@
 				default:
 				}
 				id := fmt.Sprintf("b%d.%d", n, i)
-				c := call(t, addr, "")
+				c := dialClient(t, addr, "")
 				if n > 0 {
 					time.Sleep(time.Duration(n) * 20 * time.Millisecond)
 				}
-				fmt.Fprint(c, open(id))
-				if s, err := c.r.ReadString('\n'); s != "UP r1\r\n" {
+				fmt.Fprint(c, openLine(id))
+				if s, err := c.reader.ReadString('\n'); s != "UP r1\r\n" {
 					t.Errorf("%s was answered %q, %v", id, s, err)
 				}
 				c.Close()
@@ -191,14 +191,14 @@
 		}
 		p.signal(syscall.SIGHUP)
 	}
-	old.until("PING", "400")
-	halves := func(from, to int, text string) { // some are in the middle of a line
-		for _, c := range standing[from:to] {
+	old.untilAnswer("PING", "400")
+	writeTo := func(from, to int, text string) { // some are in the middle of a line
+		for _, c := range sessions[from:to] {
 			fmt.Fprint(c, text)
 		}
 	}
-	halves(0, 5, "are you")
-	if err := old.ends(patience); err != nil {
+	writeTo(0, 5, "are you")
+	if err := old.awaitExit(testTimeout); err != nil {
 		t.Errorf("the old one ended with %v\n%s", err, old.log)
 	}
 	if took, most := time.Since(begun), 1900*time.Millisecond; took > most {
@@ -206,48 +206,48 @@
 	}
 	close(stop)
 	served.Wait()
-	halves(0, 5, " there\r\n")
-	halves(5, 20, "are you there\r\n")
-	for i, c := range standing {
-		if s := c.line(); s != "yes" {
+	writeTo(0, 5, " there\r\n")
+	writeTo(5, 20, "are you there\r\n")
+	for i, c := range sessions {
+		if s := c.readLine(); s != "yes" {
 			t.Errorf("standing connection %d: %q", i, s)
 		}
 	}
-	if s := call(t, addr, open("a0")).line(); s != "ERR" {
+	if s := dialClient(t, addr, openLine("a0")).readLine(); s != "ERR" {
 		t.Errorf("the id of a connection that was handed over: %q", s)
 	}
-	next.untilHas("balancer.open_requests:20|g\r\n")
-	if s := call(t, addr, open("c")).line(); s != "UP r1" {
+	next.untilMetrics("balancer.open_requests:20|g\r\n")
+	if s := dialClient(t, addr, openLine("c")).readLine(); s != "UP r1" {
 		t.Errorf("at the successor: %q", s)
 	}
-	if s := next.ask("PING"); s != "200 OK\r\n" {
+	if s := next.adminCall("PING"); s != "200 OK\r\n" {
 		t.Errorf("the successor says %q", s)
 	}
 }
 
 // A successor that can't be one harms nobody: the old process serves on, also if the
 // other died without a word, and takes the next one.
-func TestSuccessorFails(t *testing.T) {
+func TestFailedSuccessorHarmsNobody(t *testing.T) {
 	var got atomic.Int32
-	hop := listen(t, nextHop(&got))
-	discovery := names(t, hop)
-	addr, file := held(t)
+	upstreamAddr := listen(t, serveUpstream(&got))
+	discovery := startDiscovery(t, upstreamAddr)
+	addr, file := listeningSocket(t)
 	dir, tmp := t.TempDir(), t.TempDir()
 	path := filepath.Join(dir, "config.json")
-	configure(t, path, addr, discovery, hop, 256)
+	writeConfig(t, path, addr, discovery, upstreamAddr, 256)
 	old := startProcess(t, path, tmp, file)
-	old.until("PING", "200")
-	c := call(t, addr, open("a"))
-	if s := c.line(); s != "UP r1" {
+	old.untilAnswer("PING", "200")
+	session := dialClient(t, addr, openLine("a"))
+	if s := session.readLine(); s != "UP r1" {
 		t.Fatal(s)
 	}
-	sound := func(when string) {
+	expectServing := func(when string) {
 		t.Helper()
-		fmt.Fprint(c, "are you there\r\n")
-		if s := c.line(); s != "yes" {
+		fmt.Fprint(session, "are you there\r\n")
+		if s := session.readLine(); s != "yes" {
 			t.Errorf("%s: relayed %q", when, s)
 		}
-		if s := call(t, addr, open(when)).line(); s != "UP r1" {
+		if s := dialClient(t, addr, openLine(when)).readLine(); s != "UP r1" {
 			t.Errorf("%s: a new caller: %q", when, s)
 		}
 	}
@@ -269,21 +269,21 @@
 	defer connected.Close()
 	for what, file := range map[string]*os.File{"a-file": plain, "a-connection": connected} {
 		p := startProcess(t, path, tmp, file)
-		if err := p.ends(patience); err == nil || !strings.Contains(p.log.String(), "BALANCER_INHERITED_FD") {
+		if err := p.awaitExit(testTimeout); err == nil || !strings.Contains(p.log.String(), "BALANCER_INHERITED_FD") {
 			t.Errorf("%s in the listener's place: %v, %s", what, err, p.log)
 		}
-		sound(what)
+		expectServing(what)
 	}
 
 	killed := startProcess(t, path, tmp, file)
 	time.Sleep(20 * time.Millisecond) // somewhere on its way
 	_ = killed.Process.Kill()
-	_ = killed.ends(patience)
-	sound("killed")
+	_ = killed.awaitExit(testTimeout)
+	expectServing("killed")
 
 	next := startProcess(t, path, tmp, file)
-	next.until("PING", "200")
-	sound("beside")
+	next.untilAnswer("PING", "200")
+	expectServing("beside")
 	left, err := filepath.Glob(filepath.Join(tmp, "*.[01]"))
 	if err != nil || len(left) != 2 {
 		t.Fatalf("sockets in the folder: %v, %v", left, err)
@@ -293,33 +293,33 @@
 			t.Fatal(err)
 		}
 	}
-	old.movesAndEnds(c)
+	old.expectMoveAndExit(session)
 }
 
 // What the old process holds and can't hand over ends a successor's start with the reason,
 // and the old one has lost nothing.
-func TestSuccessorCannotHave(t *testing.T) {
-	for key, own := range map[string]string{
-		"resume.enabled": fmt.Sprintf(`{"resume":{"enabled":true,"keys":%q,"ledger":{"dir":%q}}}`, switchedOn(t).Resume.Keys, t.TempDir()),
-		"udp.listen":     fmt.Sprintf(`{"udp":{"listen":%q}}`, free(t)),
+func TestSuccessorRefusedWhileStateIsExclusive(t *testing.T) {
+	for key, operatorFile := range map[string]string{
+		"resume.enabled": fmt.Sprintf(`{"resume":{"enabled":true,"keys":%q,"ledger":{"dir":%q}}}`, resumptionEnabled(t).Resume.Keys, t.TempDir()),
+		"udp.listen":     fmt.Sprintf(`{"udp":{"listen":%q}}`, freeAddr(t)),
 	} {
 		t.Run(key, func(t *testing.T) {
 			var got atomic.Int32
-			hop := listen(t, nextHop(&got))
-			addr, file := held(t)
+			upstreamAddr := listen(t, serveUpstream(&got))
+			addr, file := listeningSocket(t)
 			dir, tmp := t.TempDir(), t.TempDir()
-			path, operators := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
-			configure(t, path, addr, names(t, hop), hop, 1024)
-			if err := os.WriteFile(operators, []byte(own), 0o600); err != nil {
+			path, operatorPath := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.json")
+			writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 1024)
+			if err := os.WriteFile(operatorPath, []byte(operatorFile), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			old := startProcess(t, path, tmp, file, "--config", operators)
-			old.until("PING", "200")
-			next := startProcess(t, path, tmp, file, "--config", operators)
-			if err := next.ends(patience); err == nil || !strings.Contains(next.log.String(), key) {
+			old := startProcess(t, path, tmp, file, "--config", operatorPath)
+			old.untilAnswer("PING", "200")
+			next := startProcess(t, path, tmp, file, "--config", operatorPath)
+			if err := next.awaitExit(testTimeout); err == nil || !strings.Contains(next.log.String(), key) {
 				t.Errorf("%v: %s", err, next.log)
 			}
-			if s := call(t, addr, open("a")).line(); s != "UP r1" {
+			if s := dialClient(t, addr, openLine("a")).readLine(); s != "UP r1" {
 				t.Errorf("at the old one: %q", s)
 			}
 		})
--- a/cmd/coralrelay/retune_test.go
+++ b/cmd/coralrelay/retune_test.go
@@ -15,21 +15,21 @@
 
 // New settings take force at a hang-up, all of a file or none: classes appear and
 // vanish, what stands keeps its own, and the figures tell what was on the sockets.
-func TestRetuned(t *testing.T) {
+func TestHangUpAppliesSettings(t *testing.T) {
 	var got atomic.Int32
 	calls := make(chan string, 8)
 	discovery := func(name string) string {
 		return listen(t, func(conn net.Conn) { calls <- name; io.Copy(io.Discard, conn) })
 	}
-	hop := listen(t, nextHop(&got))
-	addr, path := free(t), filepath.Join(t.TempDir(), "config.json")
-	configure(t, path, addr, discovery("first"), hop, 1024)
+	upstreamAddr := listen(t, serveUpstream(&got))
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, addr, discovery("first"), upstreamAddr, 1024)
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := startProcess(t, path, t.TempDir(), nil)
-	p.until("PING", "200")
+	p.untilAnswer("PING", "200")
 	if name := <-calls; name != "first" {
 		t.Fatal(name)
 	}
@@ -39,23 +39,23 @@
 			t.Fatal(err)
 		}
 		p.signal(syscall.SIGHUP)
-		p.untilHas(fmt.Sprintf("balancer.cfg_accepted:%d|c\r\nbalancer.cfg_invalid:%d|c\r\n", accepted, invalid))
+		p.untilMetrics(fmt.Sprintf("balancer.cfg_accepted:%d|c\r\nbalancer.cfg_invalid:%d|c\r\n", accepted, invalid))
 	}
-	ask := func(id, class string) string {
-		return call(t, addr, fmt.Sprintf("OPEN %s k1 c=%s,d=1200\r\n", id, class)).line()
+	openClass := func(id, class string) string {
+		return dialClient(t, addr, fmt.Sprintf("OPEN %s k1 c=%s,d=1200\r\n", id, class)).readLine()
 	}
-	standing := call(t, addr, open("a"))
-	if s := standing.line(); s != "UP r1" {
+	session := dialClient(t, addr, openLine("a"))
+	if s := session.readLine(); s != "UP r1" {
 		t.Fatal(s)
 	}
-	if s := ask("b", "feed_new"); s != "ERR" {
+	if s := openClass("b", "feed_new"); s != "ERR" {
 		t.Errorf("a class to come: %q", s)
 	}
 
 	class := string(raw[strings.Index(string(raw), `{"name":"feed"`):strings.Index(string(raw), `],`+"\n")])
 	both := strings.Replace(string(raw), class, class+","+strings.Replace(class, "feed", "feed_new", 1), 1)
 	hangUp(both, 1, 0)
-	if s, u := ask("c", "feed_new"), ask("d", "feed"); s != "UP r1" || u != "UP r1" {
+	if s, u := openClass("c", "feed_new"), openClass("d", "feed"); s != "UP r1" || u != "UP r1" {
 		t.Errorf("a class that has appeared: %q, one that was there: %q", s, u)
 	}
 
@@ -66,11 +66,11 @@
 	}
 
 	hangUp(strings.ReplaceAll(string(raw), `"feed"`, `"other"`), 2, 4)
-	if s, u := ask("e", "feed"), ask("f", "other"); s != "ERR" || u != "UP r1" {
+	if s, u := openClass("e", "feed"), openClass("f", "other"); s != "ERR" || u != "UP r1" {
 		t.Errorf("a class that has vanished: %q, the one that stays: %q", s, u)
 	}
-	fmt.Fprint(standing, "are you there\r\n")
-	if s := standing.line(); s != "yes" {
+	fmt.Fprint(session, "are you there\r\n")
+	if s := session.readLine(); s != "yes" {
 		t.Errorf("what stands: %q", s)
 	}
 	want := ""
@@ -82,13 +82,13 @@
 			c.name, c.fulfilled, c.throttled, c.faulted)
 	}
 	want += fmt.Sprintf("balancer.relayed:%d|c\r\n", got.Load())
-	p.untilHas(want)
+	p.untilMetrics(want)
 	select {
 	case name := <-calls:
 		t.Errorf("the discovery %s was called", name)
 	case <-time.After(50 * time.Millisecond):
 	}
-	p.movesAndEnds(standing)
+	p.expectMoveAndExit(session)
 	for _, key := range []string{"settings.classes[0].deadline", "settings.limits.mostTries", "BALANCER_CONFIG"} {
 		if !strings.Contains(p.log.String(), key) {
 			t.Errorf("the log does not name %s:\n%s", key, p.log)
@@ -97,14 +97,14 @@
 }
 
 // untilHas asks for the figures until they hold a text.
-func (p *process) untilHas(text string) {
+func (p *process) untilMetrics(text string) {
 	p.t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		got := p.ask("INFO")
+		got := p.adminCall("INFO")
 		if strings.Contains(got, text) && strings.HasSuffix(got, "EOF\r\n") {
 			return
 		}
-		if time.Since(begun) > patience {
+		if time.Since(begun) > testTimeout {
 			p.t.Fatalf("figures:\n%swant:\n%s", got, text)
 		}
 	}
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -43,97 +43,97 @@
 
 // serve runs the node until terminate ends, and then lets it end in good order.
 // On each hang-up the configuration is read again, also while the node ends.
-func serve(terminate context.Context, hangUps <-chan os.Signal, c config.Config, own operatorconfig.File, path string) error {
+func serve(terminate context.Context, hangUps <-chan os.Signal, cfg config.Config, operatorFile operatorconfig.File, operatorPath string) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
-	var place *instancelock.Lock
-	defer func() { place.Close() }() // when all is over: the process beside this one goes by it
-	defer parts.Wait()
+	var goroutines sync.WaitGroup
+	var lock *instancelock.Lock
+	defer func() { lock.Close() }() // when all is over: the process beside this one goes by it
+	defer goroutines.Wait()
 	defer cancel()
 
-	listener, err := openClientListener(c)
+	listener, err := openClientListener(cfg)
 	if err != nil {
 		return err
 	}
 	defer listener.Close() // whatever keeps the node from starting
-	if place, err = acquireInstanceLock(c, listener, own); err != nil {
+	if lock, err = acquireInstanceLock(cfg, listener, operatorFile); err != nil {
 		return err
 	}
-	c.Settings = platform.ForWatch(c.Settings)
+	cfg.Settings = platform.ForWatch(cfg.Settings)
 	// A node's start is one of many, a successor's its own.
-	c.Settings.SubscribeImmediately = c.Settings.SubscribeImmediately || place.IsSiblingAlive()
-	hops := upstream.New(ctx, upstreamLimits(c.Settings))
-	lists := &endpointUpdater{pool: hops, firstListReceived: make(chan struct{})}
-	watch := discovery.New(c.Discovery, lists)
-	core, err := dispatch.New(dispatch.NewClock(), c.Seed, c.Settings, hops, watch)
+	cfg.Settings.SubscribeImmediately = cfg.Settings.SubscribeImmediately || lock.IsSiblingAlive()
+	pool := upstream.New(ctx, upstreamLimits(cfg.Settings))
+	updater := &endpointUpdater{pool: pool, firstListReceived: make(chan struct{})}
+	watcher := discovery.New(cfg.Discovery, updater)
+	eventLoop, err := dispatch.New(dispatch.NewClock(), cfg.Seed, cfg.Settings, pool, watcher)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	lists.eventLoop = core
-	hops.SetObserver(core)
-	if lists.udpListeners, err = startUDP(ctx, &parts, c, own.UDP, core, hops); err != nil {
+	updater.eventLoop = eventLoop
+	pool.SetObserver(eventLoop)
+	if updater.udpListeners, err = startUDP(ctx, &goroutines, cfg, operatorFile.UDP, eventLoop, pool); err != nil {
 		return err
 	}
-	room := newDescriptorBudget(c, own, place)
-	limits := downstream.Limits{Sockets: room.forClients(len(c.Known.Endpoints)), RetryAfter: retryAfter(c.Settings.Limits)}
-	other := &siblingMonitor{lock: place}
-	if place != nil {
-		limits.UsedElsewhere = other.usedElsewhere
+	budget := newDescriptorBudget(cfg, operatorFile, lock)
+	limits := downstream.Limits{Sockets: budget.forClients(len(cfg.Known.Endpoints)), RetryAfter: retryAfter(cfg.Settings.Limits)}
+	sibling := &siblingMonitor{lock: lock}
+	if lock != nil {
+		limits.UsedElsewhere = sibling.usedElsewhere
 	}
-	server := downstream.New(core, hops, limits)
-	lists.onEndpointCount = func(n int) { server.SetSocketLimit(room.forClients(n)) }
+	server := downstream.New(eventLoop, pool, limits)
+	updater.onEndpointCount = func(n int) { server.SetSocketLimit(budget.forClients(n)) }
 	book := &metrics.Registry{}
-	inForce := &activeConfig{eventLoop: core, pool: hops, server: server, watcher: watch, metrics: book}
-	inForce.apply(c)
+	active := &activeConfig{eventLoop: eventLoop, pool: pool, server: server, watcher: watcher, metrics: book}
+	active.apply(cfg)
 	server.Metrics = book
-	if place != nil {
-		used := func() int { return server.SocketsInUse() + hops.EndpointCount() }
-		parts.Go(func() { other.run(ctx, c.Limits, used, inForce.setSiblingAlive) })
+	if lock != nil {
+		used := func() int { return server.SocketsInUse() + pool.EndpointCount() }
+		goroutines.Go(func() { sibling.run(ctx, cfg.Limits, used, active.setSiblingAlive) })
 	}
-	resume, err := startTokenResumption(ctx, &parts, c.Name, own.Resume)
+	resume, err := startTokenResumption(ctx, &goroutines, cfg.Name, operatorFile.Resume)
 	if err != nil {
 		return err
 	}
 	if resume != nil {
 		server.Resumptions = resume.factory
 	}
-	if err := startAdmin(ctx, &parts, c.AdminAddr, adminNode{server, hops, core, book}); err != nil {
+	if err := startAdmin(ctx, &goroutines, cfg.AdminAddr, adminNode{server, pool, eventLoop, book}); err != nil {
 		return err
 	}
-	if err := startAgentClient(ctx, &parts, own.Fleet, core); err != nil {
+	if err := startAgentClient(ctx, &goroutines, operatorFile.Fleet, eventLoop); err != nil {
 		return err
 	}
-	parts.Go(func() { core.Run(ctx) })
-	parts.Go(func() { watch.Run(ctx, c.Known) })
-	parts.Go(func() {
-		own := own // what is in force, which differs from the start's
-		reloadOnHangUp(ctx, hangUps, inForce.reload, func() { own = reloadOperatorFile(own, path, resume) })
+	goroutines.Go(func() { eventLoop.Run(ctx) })
+	goroutines.Go(func() { watcher.Run(ctx, cfg.Known) })
+	goroutines.Go(func() {
+		operatorFile := operatorFile // what is in force, which differs from the start's
+		reloadOnHangUp(ctx, hangUps, active.reload, func() { operatorFile = reloadOperatorFile(operatorFile, operatorPath, resume) })
 	})
-	if place != nil {
-		if err := hotrestart.Listen(ctx, &parts, os.TempDir(), place.Name(), handoverReceiver{server, core}); err != nil {
+	if lock != nil {
+		if err := hotrestart.Listen(ctx, &goroutines, os.TempDir(), lock.Name(), handoverReceiver{server, eventLoop}); err != nil {
 			slog.Warn("a process before this one can't hand over what stands", "err", err)
 		}
 	}
-	if place.IsSiblingAlive() { // who serves meanwhile; alone, clients would wait
-		awaitFirstList(terminate, lists.firstListReceived, place.IsSiblingAlive)
+	if lock.IsSiblingAlive() { // who serves meanwhile; alone, clients would wait
+		awaitFirstList(terminate, updater.firstListReceived, lock.IsSiblingAlive)
 	}
-	turnAway := func() { // before anything that may take its time
-		if !place.IsSiblingAlive() {
+	startDraining := func() { // before anything that may take its time
+		if !lock.IsSiblingAlive() {
 			server.StartDraining(time.Now())
 		}
 	}
 	if terminate.Err() != nil { // in the start: nobody is taken at all
-		turnAway()
+		startDraining()
 	}
-	place.SetServing(true) // before anybody is told so
+	lock.SetServing(true) // before anybody is told so
 	served := make(chan error, 1)
-	parts.Go(func() { served <- server.Serve(listener) })
-	slog.Info("serving", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Endpoints))
+	goroutines.Go(func() { served <- server.Serve(listener) })
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "known", len(cfg.Known.Endpoints))
 
 	<-terminate.Done()
-	turnAway()
+	startDraining()
 	resume.beginDraining()
-	drain(server, core, listener, place, min(inForce.longestDeadline(), maxDrainDeadline))
+	drain(server, eventLoop, listener, lock, min(active.longestDeadline(), maxDrainDeadline))
 	err = <-served
 	server.Close()
 	return err
--- a/cmd/coralrelay/succeeded_test.go
+++ b/cmd/coralrelay/succeeded_test.go
@@ -12,21 +12,21 @@
 
 // A process is told to go while the one beside it takes no clients: it is not ready yet, or
 // leaves too. Clients are not left to nobody: this one answers as it does alone.
-func TestNobodySucceeds(t *testing.T) {
+func TestAnswersAloneWhileSiblingDoesNotServe(t *testing.T) {
 	silent := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) })
 	for name, leaves := range map[string]bool{"not ready": false, "leaves too": true} {
 		t.Run(name, func(t *testing.T) {
 			var got atomic.Int32
-			hop := listen(t, nextHop(&got))
-			addr, file := held(t)
+			upstreamAddr := listen(t, serveUpstream(&got))
+			addr, file := listeningSocket(t)
 			dir, tmp := t.TempDir(), t.TempDir()
 			path, other := filepath.Join(dir, "config.json"), filepath.Join(dir, "other.json")
-			configure(t, path, addr, names(t, hop), hop, 256)
-			configure(t, other, addr, silent, hop, 256)
+			writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 256)
+			writeConfig(t, other, addr, silent, upstreamAddr, 256)
 			old := startProcess(t, path, tmp, file)
-			old.until("PING", "200")
-			c := call(t, addr, open("a"))
-			if s := c.line(); s != "UP r1" {
+			old.untilAnswer("PING", "200")
+			session := dialClient(t, addr, openLine("a"))
+			if s := session.readLine(); s != "UP r1" {
 				t.Fatal(s)
 			}
 			if leaves {
@@ -34,31 +34,31 @@
 			}
 			next := startProcess(t, other, tmp, file)
 			if leaves {
-				next.until("PING", "200")
+				next.untilAnswer("PING", "200")
 				next.signal(syscall.SIGTERM)
 			}
-			next.until("PING", "400")
+			next.untilAnswer("PING", "400")
 			next.signal(syscall.SIGSTOP) // where it is
 			old.signal(syscall.SIGTERM)
-			old.until("PING", "400")
-			if s := call(t, addr, open("b")).line(); !strings.HasPrefix(s, "BUSY") {
+			old.untilAnswer("PING", "400")
+			if s := dialClient(t, addr, openLine("b")).readLine(); !strings.HasPrefix(s, "BUSY") {
 				t.Errorf("who comes then: %q", s)
 			}
-			if s := c.line(); s != "MOVE" {
+			if s := session.readLine(); s != "MOVE" {
 				t.Errorf("who stands: %q", s)
 			}
-			if err := old.ends(patience); err != nil {
+			if err := old.awaitExit(testTimeout); err != nil {
 				t.Errorf("it ended with %v\n%s", err, old.log)
 			}
 			next.signal(syscall.SIGCONT)
 			if leaves {
-				if err := next.ends(patience); err != nil {
+				if err := next.awaitExit(testTimeout); err != nil {
 					t.Errorf("the other ended with %v\n%s", err, next.log)
 				}
 				return
 			}
-			next.until("PING", "200")
-			if s := call(t, addr, open("c")).line(); s != "UP r1" {
+			next.untilAnswer("PING", "200")
+			if s := dialClient(t, addr, openLine("c")).readLine(); s != "UP r1" {
 				t.Errorf("at the successor: %q", s)
 			}
 		})
