--- a/internal/fleet/slo/allocate.go
+++ b/internal/fleet/slo/allocate.go
@@ -33,189 +33,189 @@
 }
 
 // fit is how many of most thousandths there is room for.
-func fitting(room, unit float64, most int) int {
-	if unit <= 0 {
-		return most
+func fitting(spare, ratePerThousandth float64, limit int) int {
+	if ratePerThousandth <= 0 {
+		return limit
 	}
-	return int(min(max(math.Floor(room/unit+1e-9), 0), float64(most)))
+	return int(min(max(math.Floor(spare/ratePerThousandth+1e-9), 0), float64(limit)))
 }
 
-func (p *regionCapacity) reserve(w *placement, k int) {
-	p.spare, p.headroom = p.spare-float64(k)*w.ratePerThousandth, p.headroom-float64(k)*w.ratePerThousandth
+func (r *regionCapacity) reserve(p *placement, share int) {
+	r.spare, r.headroom = r.spare-float64(share)*p.ratePerThousandth, r.headroom-float64(share)*p.ratePerThousandth
 }
 
 // allocate places all contracts: those that can be kept by priority, then those that
 // can't. Within a priority all who are somewhere stay first, so that few are moved; what
 // comes later never takes from what came before.
-func (st *Controller) allocate(wants []*placement, places []regionCapacity) {
-	order := slices.Clone(wants)
-	rank := func(w *placement) int {
-		if w.lastUnmetReason != "" {
-			return math.MaxInt32 + w.contract.Priority
+func (c *Controller) allocate(placements []*placement, regions []regionCapacity) {
+	queue := slices.Clone(placements)
+	effectivePriority := func(p *placement) int {
+		if p.lastUnmetReason != "" {
+			return math.MaxInt32 + p.contract.Priority
 		}
-		return w.contract.Priority
+		return p.contract.Priority
 	}
-	choices := func(w *placement) (n int) {
-		for _, ok := range w.allowed {
+	countAllowed := func(p *placement) (size int) {
+		for _, ok := range p.allowed {
 			if ok {
-				n++
+				size++
 			}
 		}
-		return n
+		return size
 	}
-	slices.SortFunc(order, func(a, b *placement) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(choices(a), choices(b)),
+	slices.SortFunc(queue, func(a, b *placement) int {
+		return cmp.Or(cmp.Compare(effectivePriority(a), effectivePriority(b)), cmp.Compare(countAllowed(a), countAllowed(b)),
 			cmp.Compare(a.contract.Name, b.contract.Name))
 	})
-	for len(order) > 0 {
-		n := 1
-		for n < len(order) && rank(order[n]) == rank(order[0]) {
-			n++
+	for len(queue) > 0 {
+		size := 1
+		for size < len(queue) && effectivePriority(queue[size]) == effectivePriority(queue[0]) {
+			size++
 		}
-		for _, w := range order[:n] {
-			st.retain(w, places)
+		for _, p := range queue[:size] {
+			c.retain(p, regions)
 		}
-		for _, w := range order[:n] {
-			st.placeRemainder(w, places)
+		for _, p := range queue[:size] {
+			c.placeRemainder(p, regions)
 		}
-		for _, w := range order[:n] {
-			st.moveFromBreaches(w, places)
+		for _, p := range queue[:size] {
+			c.moveFromBreaches(p, regions)
 		}
-		order = order[n:]
+		queue = queue[size:]
 	}
 }
 
 // bears is how many thousandths of a contract still fit. One that can't be kept gets what
 // lies below the full mark only, so that it makes no region slow for the others.
-func (p *regionCapacity) fits(w *placement, k int) int {
-	if w.lastUnmetReason != "" {
-		return fitting(min(p.spare, p.headroom), w.ratePerThousandth, k)
+func (r *regionCapacity) fits(p *placement, share int) int {
+	if p.lastUnmetReason != "" {
+		return fitting(min(r.spare, r.headroom), p.ratePerThousandth, share)
 	}
-	return fitting(p.spare, w.ratePerThousandth, k)
+	return fitting(r.spare, p.ratePerThousandth, share)
 }
 
 // stays is how many of k thousandths a contract keeps in a region. Who is there may stay
 // above the full mark, but makes way for those of more priority who are moved in.
-func (p *regionCapacity) retained(w *placement, k int) int {
-	k = p.fits(w, k)
-	if way := min(float64(k)*w.ratePerThousandth-max(p.headroom, 0), p.displaced); way > 0 {
-		p.displaced -= way
-		k -= min(k, int(math.Ceil(way/w.ratePerThousandth-1e-9)))
+func (r *regionCapacity) retained(p *placement, share int) int {
+	share = r.fits(p, share)
+	if displacedRate := min(float64(share)*p.ratePerThousandth-max(r.headroom, 0), r.displaced); displacedRate > 0 {
+		r.displaced -= displacedRate
+		share -= min(share, int(math.Ceil(displacedRate/p.ratePerThousandth-1e-9)))
 	}
-	return k
+	return share
 }
 
 // stay keeps what a contract has where the region bears it; the rest is homeless.
-func (st *Controller) retain(w *placement, places []regionCapacity) {
-	w.next, w.overflow = make([]int, len(places)), make([]int, len(places))
-	w.unplaced = thousandths
-	for r := range places {
-		k := 0
-		if !w.maySteer {
-			k = w.current[r] // it goes there whatever is said here
-		} else if w.allowed[r] && places[r].usable {
-			k = w.current[r]
-			if !st.DisabledGuards.CapacityLimits {
-				k = places[r].retained(w, k)
+func (c *Controller) retain(p *placement, regions []regionCapacity) {
+	p.next, p.overflow = make([]int, len(regions)), make([]int, len(regions))
+	p.unplaced = thousandths
+	for r := range regions {
+		share := 0
+		if !p.maySteer {
+			share = p.current[r] // it goes there whatever is said here
+		} else if p.allowed[r] && regions[r].usable {
+			share = p.current[r]
+			if !c.DisabledGuards.CapacityLimits {
+				share = regions[r].retained(p, share)
 			}
 		}
-		w.next[r] = k
-		w.unplaced -= k
-		places[r].reserve(w, k)
+		p.next[r] = share
+		p.unplaced -= share
+		regions[r].reserve(p, share)
 	}
-	if !w.maySteer && w.unplaced > 0 { // its allocation names regions that are no more
-		w.unplaced = 0
+	if !p.maySteer && p.unplaced > 0 { // its allocation names regions that are no more
+		p.unplaced = 0
 	}
 }
 
 // by lists the regions that a contract may use, the best first.
-func (w *placement) rankedRegions(places []regionCapacity) []int {
-	var list []int
-	for r := range places {
-		if w.allowed[r] && places[r].usable {
-			list = append(list, r)
+func (p *placement) rankedRegions(regions []regionCapacity) []int {
+	var ranked []int
+	for r := range regions {
+		if p.allowed[r] && regions[r].usable {
+			ranked = append(ranked, r)
 		}
 	}
-	merit := [...]int{unknown: 1, meets: 0, breaches: 2}
-	slices.SortStableFunc(list, func(a, b int) int {
-		return cmp.Or(cmp.Compare(merit[w.regionViews[a].verdict], merit[w.regionViews[b].verdict]), cmp.Compare(w.regionViews[b].score, w.regionViews[a].score))
+	rankByVerdict := [...]int{unknown: 1, meets: 0, breaches: 2}
+	slices.SortStableFunc(ranked, func(a, b int) int {
+		return cmp.Or(cmp.Compare(rankByVerdict[p.regionViews[a].verdict], rankByVerdict[p.regionViews[b].verdict]), cmp.Compare(p.regionViews[b].score, p.regionViews[a].score))
 	})
-	return list
+	return ranked
 }
 
 // house finds room for what is homeless. It is on its way already, as its region is left
 // or full, so no step bounds it. What fits nowhere goes where it was, or else by what the
 // regions bear, and is told as over: whoever refuses, refuses these first.
-func (st *Controller) placeRemainder(w *placement, places []regionCapacity) {
-	list := w.rankedRegions(places)
-	for _, full := range []bool{false, true} { // to the full mark everywhere before above it anywhere
-		for _, r := range list {
-			k := places[r].fits(w, w.unplaced)
-			if !full {
-				k = fitting(min(places[r].spare, places[r].headroom), w.ratePerThousandth, k)
+func (c *Controller) placeRemainder(p *placement, regions []regionCapacity) {
+	ranked := p.rankedRegions(regions)
+	for _, aboveLimit := range []bool{false, true} { // to the full mark everywhere before above it anywhere
+		for _, r := range ranked {
+			share := regions[r].fits(p, p.unplaced)
+			if !aboveLimit {
+				share = fitting(min(regions[r].spare, regions[r].headroom), p.ratePerThousandth, share)
 			}
-			if st.DisabledGuards.CapacityLimits {
-				k = w.unplaced
+			if c.DisabledGuards.CapacityLimits {
+				share = p.unplaced
 			}
-			w.next[r] += k
-			w.unplaced -= k
-			w.moved += k
-			places[r].reserve(w, k)
+			p.next[r] += share
+			p.unplaced -= share
+			p.moved += share
+			regions[r].reserve(p, share)
 		}
 	}
-	if w.unplaced == 0 {
+	if p.unplaced == 0 {
 		return
 	}
-	if len(list) == 0 {
-		w.unmetReason, w.overflow, w.unplaced = "zones: none that it may use is usable", slices.Clone(w.current), 0
+	if len(ranked) == 0 {
+		p.unmetReason, p.overflow, p.unplaced = "zones: none that it may use is usable", slices.Clone(p.current), 0
 		return
 	}
-	w.unmetReason = "limit: " + joinRegionNames(places, list) + " have no room for all of it"
-	for _, r := range list {
-		k := min(max(w.current[r]-w.next[r], 0), w.unplaced)
-		w.overflow[r], w.unplaced = k, w.unplaced-k
+	p.unmetReason = "limit: " + joinRegionNames(regions, ranked) + " have no room for all of it"
+	for _, r := range ranked {
+		share := min(max(p.current[r]-p.next[r], 0), p.unplaced)
+		p.overflow[r], p.unplaced = share, p.unplaced-share
 	}
-	weights := make([]float64, len(places))
-	for _, r := range list {
-		weights[r] = places[r].capacity + 1e-6 // one that bears nothing is a place too
+	weights := make([]float64, len(regions))
+	for _, r := range ranked {
+		weights[r] = regions[r].capacity + 1e-6 // one that bears nothing is a place too
 	}
-	for r, k := range apportion(w.unplaced, weights) {
-		w.overflow[r] += k
+	for r, share := range apportion(p.unplaced, weights) {
+		p.overflow[r] += share
 	}
-	w.unplaced = 0
+	p.unplaced = 0
 }
 
 // spread cuts a whole into parts by weights; the rest goes to the greatest remainders.
 func apportion(whole int, weights []float64) []int {
 	parts, sum, left := make([]int, len(weights)), 0.0, whole
-	for _, x := range weights {
-		sum += x
+	for _, weight := range weights {
+		sum += weight
 	}
 	if sum <= 0 {
 		return parts
 	}
-	order, rest := make([]int, len(weights)), make([]float64, len(weights))
-	for i, x := range weights {
-		exact := float64(whole) * x / sum
-		parts[i], order[i] = int(exact), i
-		rest[i], left = exact-float64(parts[i]), left-parts[i]
+	order, remainders := make([]int, len(weights)), make([]float64, len(weights))
+	for i, weight := range weights {
+		quota := float64(whole) * weight / sum
+		parts[i], order[i] = int(quota), i
+		remainders[i], left = quota-float64(parts[i]), left-parts[i]
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(rest[b], rest[a]) })
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(remainders[b], remainders[a]) })
 	for i := 0; left > 0; i, left = i+1, left-1 {
 		parts[order[i%len(order)]]++
 	}
 	return parts
 }
 
-func joinRegionNames(places []regionCapacity, list []int) (s string) {
-	for i, r := range slices.Sorted(slices.Values(list)) {
+func joinRegionNames(regions []regionCapacity, indexes []int) (joined string) {
+	for i, r := range slices.Sorted(slices.Values(indexes)) {
 		if i == 4 {
-			return s + " and others"
+			return joined + " and others"
 		}
 		if i > 0 {
-			s += ", "
+			joined += ", "
 		}
-		s += places[r].name
+		joined += regions[r].name
 	}
-	return s
+	return joined
 }
--- a/internal/fleet/slo/burn.go
+++ b/internal/fleet/slo/burn.go
@@ -28,39 +28,39 @@
 // turn closes the window under way if it is over at slot. It is broken if it was measured
 // to be: that is the promise's own term. Confidence is asked of regions, before anyone is
 // moved; a window in which nobody measured counts as none.
-func (t *contractState) closeWindow(c *Config, slot int64) {
-	parts := int64((t.contract.Window + c.SampleInterval - 1) / c.SampleInterval)
-	window := slot / parts
-	if window <= t.window {
+func (s *contractState) closeWindow(cfg *Config, interval int64) {
+	intervalsPerWindow := int64((s.contract.Window + cfg.SampleInterval - 1) / cfg.SampleInterval)
+	window := interval / intervalsPerWindow
+	if window <= s.window {
 		return
 	}
-	if t.count > 0 {
-		t.history <<= 1
-		if t.missed > (1-t.contract.Quantile)*t.count {
-			t.history |= 1
+	if s.count > 0 {
+		s.history <<= 1
+		if s.missed > (1-s.contract.Quantile)*s.count {
+			s.history |= 1
 		}
-		t.recordedWindows = min(t.recordedWindows+1, longBurnWindows)
+		s.recordedWindows = min(s.recordedWindows+1, longBurnWindows)
 	}
-	t.window, t.count, t.missed = window, 0, 0
+	s.window, s.count, s.missed = window, 0, 0
 }
 
 // burn is how many times faster than allowed the budget of broken windows was spent in the
 // last span windows; 1 spends it exactly.
-func (t *contractState) burnRate(span int) float64 {
-	n := min(span, t.recordedWindows)
-	if n == 0 {
+func (s *contractState) burnRate(windows int) float64 {
+	recorded := min(windows, s.recordedWindows)
+	if recorded == 0 {
 		return 0
 	}
-	mask := ^uint64(0) >> (64 - n)
-	return float64(bits.OnesCount64(t.history&mask)) / float64(n) / (1 - t.contract.Target)
+	mask := ^uint64(0) >> (64 - recorded)
+	return float64(bits.OnesCount64(s.history&mask)) / float64(recorded) / (1 - s.contract.Target)
 }
 
 // burning tells whether the contract is about to be broken if it stays as it is.
-func (t *contractState) isBurning() bool {
-	return t.burnRate(shortBurnWindows) >= 1 && t.burnRate(longBurnWindows) >= 1
+func (s *contractState) isBurning() bool {
+	return s.burnRate(shortBurnWindows) >= 1 && s.burnRate(longBurnWindows) >= 1
 }
 
 // healthy tells whether half of the budget is left, over a span that means something.
-func (t *contractState) hasHalfBudget() bool {
-	return t.recordedWindows >= shortBurnWindows && t.burnRate(shortBurnWindows) < 0.5 && t.burnRate(longBurnWindows) < 0.5
+func (s *contractState) hasHalfBudget() bool {
+	return s.recordedWindows >= shortBurnWindows && s.burnRate(shortBurnWindows) < 0.5 && s.burnRate(longBurnWindows) < 0.5
 }
--- a/internal/fleet/slo/config.go
+++ b/internal/fleet/slo/config.go
@@ -27,7 +27,7 @@
 
 // Check names the first key that can't be worked with.
 func (c Config) InvalidKey() string {
-	share := func(x float64) bool { return x > 0 && x <= 1 }
+	isFraction := func(x float64) bool { return x > 0 && x <= 1 }
 	switch {
 	case c.SampleInterval < time.Second || c.SampleInterval > time.Minute:
 		return "part"
@@ -43,11 +43,11 @@
 		return "need"
 	case c.MoveInterval < minSteerIntervalMs/2*time.Millisecond: // the record takes no more steps
 		return "period"
-	case !share(c.MaxMoveFraction):
+	case !isFraction(c.MaxMoveFraction):
 		return "step"
-	case !share(c.MaxInflowFraction):
+	case !isFraction(c.MaxInflowFraction):
 		return "inflow"
-	case !share(c.MaxUtilization):
+	case !isFraction(c.MaxUtilization):
 		return "fill"
 	case c.MinBreachInterval < 0:
 		return "patience"
--- a/internal/fleet/slo/explore.go
+++ b/internal/fleet/slo/explore.go
@@ -8,65 +8,65 @@
 // explore sends a small part of some contracts to regions that nobody has measured of late:
 // as few of them as bring enough samples, those of the least priority first, and none whose
 // budget is being spent or that explores already.
-func (st *Controller) explore(wants []*placement, places []regionCapacity, slot int64) {
-	part, seconds := int(st.cfg.ExploreFraction*thousandths), st.cfg.SampleInterval.Seconds()*float64(st.cfg.EvidenceIntervals)
-	if st.DisabledGuards.ExploreLimit {
-		part = thousandths / 5
+func (c *Controller) explore(placements []*placement, regions []regionCapacity, interval int64) {
+	share, evidenceSeconds := int(c.cfg.ExploreFraction*thousandths), c.cfg.SampleInterval.Seconds()*float64(c.cfg.EvidenceIntervals)
+	if c.DisabledGuards.ExploreLimit {
+		share = thousandths / 5
 	}
-	order := slices.Clone(wants)
-	slices.SortFunc(order, func(a, b *placement) int {
+	candidates := slices.Clone(placements)
+	slices.SortFunc(candidates, func(a, b *placement) int {
 		return cmp.Or(cmp.Compare(b.contract.Priority, a.contract.Priority), cmp.Compare(b.ratePerThousandth, a.ratePerThousandth),
 			cmp.Compare(a.contract.Name, b.contract.Name))
 	})
-	for r := range places {
+	for r := range regions {
 		for _, messages := range []bool{false, true} {
-			samples := 0.0 // to be expected within the evidence's time
-			for _, w := range wants {
-				if w.contract.ForMessages == messages {
-					samples += float64(w.next[r]) * w.ratePerThousandth * seconds
+			expectedSamples := 0.0 // to be expected within the evidence's time
+			for _, p := range placements {
+				if p.contract.ForMessages == messages {
+					expectedSamples += float64(p.next[r]) * p.ratePerThousandth * evidenceSeconds
 				}
 			}
-			for _, w := range order {
-				if w.contract.ForMessages != messages || samples >= st.cfg.MinSamples && !st.DisabledGuards.ExploreLimit {
+			for _, p := range candidates {
+				if p.contract.ForMessages != messages || expectedSamples >= c.cfg.MinSamples && !c.DisabledGuards.ExploreLimit {
 					continue
 				}
-				if places[r].usable && w.allowed[r] && st.isUnmeasured(w, places[r].name, slot) && st.mayExplore(w, places, slot, r, part) {
-					from := 0
-					for i := range places {
-						if w.next[i] > w.next[from] {
-							from = i
+				if regions[r].usable && p.allowed[r] && c.isUnmeasured(p, regions[r].name, interval) && c.mayExplore(p, regions, interval, r, share) {
+					donor := 0
+					for i := range regions {
+						if p.next[i] > p.next[donor] {
+							donor = i
 						}
 					}
-					w.next[from], w.next[r] = w.next[from]-part, w.next[r]+part
-					w.exploredRegion = places[r].name
-					w.moved += part
-					places[from].reserve(w, -part)
-					places[r].reserve(w, part)
-					places[r].inflowLeft -= float64(part) * w.ratePerThousandth
-					samples += float64(part) * w.ratePerThousandth * seconds
+					p.next[donor], p.next[r] = p.next[donor]-share, p.next[r]+share
+					p.exploredRegion = regions[r].name
+					p.moved += share
+					regions[donor].reserve(p, -share)
+					regions[r].reserve(p, share)
+					regions[r].inflowLeft -= float64(share) * p.ratePerThousandth
+					expectedSamples += float64(share) * p.ratePerThousandth * evidenceSeconds
 				}
 			}
 		}
 	}
 }
 
-func (st *Controller) isUnmeasured(w *placement, region string, slot int64) bool {
-	all, _, _ := st.pooledCount(region, w.contract, slot)
-	return all < st.cfg.MinSamples
+func (c *Controller) isUnmeasured(p *placement, region string, interval int64) bool {
+	total, _, _ := c.pooledCount(region, p.contract, interval)
+	return total < c.cfg.MinSamples
 }
 
-func (st *Controller) mayExplore(w *placement, places []regionCapacity, slot int64, r, part int) bool {
-	if part == 0 || !w.maySteer || !w.isDue || w.moved > 0 || w.next[r] > 0 || slices.Max(w.next) < part {
+func (c *Controller) mayExplore(p *placement, regions []regionCapacity, interval int64, r, share int) bool {
+	if share == 0 || !p.maySteer || !p.isDue || p.moved > 0 || p.next[r] > 0 || slices.Max(p.next) < share {
 		return false
 	}
-	if st.DisabledGuards.ExploreLimit {
+	if c.DisabledGuards.ExploreLimit {
 		return true
 	}
-	if !st.contracts[w.contract.Name].hasHalfBudget() || w.unmetReason != "" || fitting(min(places[r].headroom, places[r].inflowLeft), w.ratePerThousandth, part) < part {
+	if !c.contracts[p.contract.Name].hasHalfBudget() || p.unmetReason != "" || fitting(min(regions[r].headroom, regions[r].inflowLeft), p.ratePerThousandth, share) < share {
 		return false
 	}
-	for i := range places { // what it has in such regions is exploring already
-		if w.next[i]+w.overflow[i] > 0 && st.isUnmeasured(w, places[i].name, slot) {
+	for i := range regions { // what it has in such regions is exploring already
+		if p.next[i]+p.overflow[i] > 0 && c.isUnmeasured(p, regions[i].name, interval) {
 			return false
 		}
 	}
--- a/internal/fleet/slo/histogram.go
+++ b/internal/fleet/slo/histogram.go
@@ -27,74 +27,74 @@
 // time, the distance in ms to the one before and the count, as varints.
 type Histogram []byte
 
-func encodeHistogram(p *hdr.PackedHistogram) Histogram {
-	var h Histogram
+func encodeHistogram(packed *hdr.PackedHistogram) Histogram {
+	var encoded Histogram
 	last := int64(0)
-	p.ForEachBucket(func(value, count int64) bool {
-		h = binary.AppendUvarint(binary.AppendUvarint(h, uint64(value-last)), uint64(min(count, math.MaxUint32)))
+	packed.ForEachBucket(func(value, count int64) bool {
+		encoded = binary.AppendUvarint(binary.AppendUvarint(encoded, uint64(value-last)), uint64(min(count, math.MaxUint32)))
 		last = value
 		return true
 	})
-	return h
+	return encoded
 }
 
 // each calls f with every bucket's time in ms and count, and returns false where h is none.
-func (h Histogram) forEachBucket(f func(ms, count int64)) bool {
+func (h Histogram) forEachBucket(visit func(ms, count int64)) bool {
 	ms := int64(0)
 	for first := true; len(h) > 0; first = false {
-		step, n := binary.Uvarint(h)
-		if n <= 0 || step > uint64(highestMs) || step == 0 && !first {
+		step, stepBytes := binary.Uvarint(h)
+		if stepBytes <= 0 || step > uint64(highestMs) || step == 0 && !first {
 			return false
 		}
-		count, m := binary.Uvarint(h[n:])
-		if ms += int64(step); m <= 0 || count == 0 || count > math.MaxUint32 || ms > highestMs {
+		count, countBytes := binary.Uvarint(h[stepBytes:])
+		if ms += int64(step); countBytes <= 0 || count == 0 || count > math.MaxUint32 || ms > highestMs {
 			return false
 		}
-		f(ms, int64(count))
-		h = h[n+m:]
+		visit(ms, int64(count))
+		h = h[stepBytes+countBytes:]
 	}
 	return true
 }
 
 // sound tells whether a histogram from outside can be true.
 func (h Histogram) isPlausible() bool {
-	good := len(h) > 0 && len(h) <= maxHistogramBytes
-	return good && h.forEachBucket(func(_, count int64) { good = good && count <= maxBucketCount }) && good
+	plausible := len(h) > 0 && len(h) <= maxHistogramBytes
+	return plausible && h.forEachBucket(func(_, count int64) { plausible = plausible && count <= maxBucketCount }) && plausible
 }
 
 // All is how many times are in it.
-func (h Histogram) Count() (all int64) {
-	h.forEachBucket(func(_, count int64) { all += count })
-	return all
+func (h Histogram) Count() (total int64) {
+	h.forEachBucket(func(_, count int64) { total += count })
+	return total
 }
 
 // Over is how many of them are above a bound. The bucket in which the bound lies counts as
 // above it: a promise is never said to be kept that is not.
-func (h Histogram) CountAbove(bound time.Duration) (over int64) {
+func (h Histogram) CountAbove(objective time.Duration) (total int64) {
 	h.forEachBucket(func(ms, count int64) {
-		if isAbove(ms, int64(bound/time.Millisecond)) {
-			over += count
+		if isAbove(ms, int64(objective/time.Millisecond)) {
+			total += count
 		}
 	})
-	return over
+	return total
 }
 
-func isAbove(ms, bound int64) bool {
-	return ms > bound || bucketLayout.ValuesAreEquivalent(ms, bound) && bucketLayout.ValuesAreEquivalent(bound, bound+1)
+func isAbove(ms, objective int64) bool {
+	return ms > objective || bucketLayout.ValuesAreEquivalent(ms, objective) && bucketLayout.ValuesAreEquivalent(objective, objective+1)
 }
 
 // into adds the histogram, scaled to weigh no more than most; the sum of what is added is
 // exact, and a bucket's part off by less than one.
-func (h Histogram) addTo(p *hdr.PackedHistogram, most int64) error {
-	all, sum, added := h.Count(), int64(0), int64(0)
+func (h Histogram) addTo(packed *hdr.PackedHistogram, limit int64) error {
+	total, cumulative, added := h.Count(), int64(0), int64(0)
 	var err error
 	h.forEachBucket(func(ms, count int64) {
-		sum += count
-		if all > most {
-			count = sum*most/all - added
+		cumulative += count
+		if total > limit {
+			count = cumulative*limit/total - added
 		}
 		if added += count; count > 0 && err == nil {
-			err = p.RecordValues(ms, count)
+			err = packed.RecordValues(ms, count)
 		}
 	})
 	if err != nil {
--- a/internal/fleet/slo/hour_test.go
+++ b/internal/fleet/slo/hour_test.go
@@ -11,99 +11,99 @@
 // ten minutes: no region is given more than it bears, and the last 20 minutes are calm. The
 // contract that nobody can keep says so and stays.
 func TestHourOfSlowRegions(t *testing.T) {
-	w := newSimulation(t, 1000, 12, 4, 0.4)
-	w.cfg.SampleInterval, w.cfg.LateSampleTimeout, w.cfg.EvidenceIntervals = 10*time.Second, 10*time.Second, 3
-	w.controller = NewController(w.cfg)
-	w.regions[3].Capacity = 650
-	hopeless := &w.state.Contracts[500]
-	hopeless.Objective = 2 * time.Millisecond
-	w.run(10 * time.Minute)
-	w.meanMs["r00"], w.meanMs["r07"] = 60, 60
-	w.run(10 * time.Minute)
-	w.regions[10].UsableFraction = 0
-	w.run(5 * time.Minute)
-	for _, a := range w.state.Allocations {
+	sim := newSimulation(t, 1000, 12, 4, 0.4)
+	sim.cfg.SampleInterval, sim.cfg.LateSampleTimeout, sim.cfg.EvidenceIntervals = 10*time.Second, 10*time.Second, 3
+	sim.controller = NewController(sim.cfg)
+	sim.regions[3].Capacity = 650
+	unattainable := &sim.state.Contracts[500]
+	unattainable.Objective = 2 * time.Millisecond
+	sim.run(10 * time.Minute)
+	sim.meanMs["r00"], sim.meanMs["r07"] = 60, 60
+	sim.run(10 * time.Minute)
+	sim.regions[10].UsableFraction = 0
+	sim.run(5 * time.Minute)
+	for _, a := range sim.state.Allocations {
 		if a.Shares["r10"] > 0 {
 			t.Fatalf("%s has %.3f of itself in a region that is left", a.Contract, a.Shares["r10"])
 		}
 	}
-	w.run(5 * time.Minute)
-	w.regions[10].UsableFraction = 1
-	w.controller = NewController(w.cfg) // a new leader that has seen nothing
-	w.run(w.cfg.MoveInterval)
-	calm := w.movedPerMinute[30]
-	w.run(30*time.Minute - w.cfg.MoveInterval)
-	t.Logf("moved in the busiest of the last 20 minutes %.4f, of all; most load %.3f; kept %v of %v", w.busiestMinute(40), w.maxLoad, w.keptWindows, w.windows)
-	if w.maxLoad > 1 || w.busiestMinute(40) >= 0.01 || calm > 0 {
-		t.Errorf("most load %.3f; %.4f moved a minute; %.1f by a leader that knew nothing", w.maxLoad, w.busiestMinute(40), calm)
+	sim.run(5 * time.Minute)
+	sim.regions[10].UsableFraction = 1
+	sim.controller = NewController(sim.cfg) // a new leader that has seen nothing
+	sim.run(sim.cfg.MoveInterval)
+	calm := sim.movedPerMinute[30]
+	sim.run(30*time.Minute - sim.cfg.MoveInterval)
+	t.Logf("moved in the busiest of the last 20 minutes %.4f, of all; most load %.3f; kept %v of %v", sim.busiestMinute(40), sim.maxLoad, sim.keptWindows, sim.windows)
+	if sim.maxLoad > 1 || sim.busiestMinute(40) >= 0.01 || calm > 0 {
+		t.Errorf("most load %.3f; %.4f moved a minute; %.1f by a leader that knew nothing", sim.maxLoad, sim.busiestMinute(40), calm)
 	}
-	if a, _ := w.state.Allocation(hopeless.Name); a.UnmetReason == "" {
-		t.Errorf("%s can't be kept and is not said to be: %+v", hopeless.Name, a)
+	if a, _ := sim.state.Allocation(unattainable.Name); a.UnmetReason == "" {
+		t.Errorf("%s can't be kept and is not said to be: %+v", unattainable.Name, a)
 	}
 }
 
 // One step with 1,000 contracts that may use all of 12 regions, and all that was seen in a
 // part of time.
 func BenchmarkEvaluate(b *testing.B) {
-	w := newSimulation(b, 1000, 12, 12, 0.4)
-	w.run(time.Minute)
-	seen, part := w.observations, w.cfg.interval(w.now)
+	sim := newSimulation(b, 1000, 12, 12, 0.4)
+	sim.run(time.Minute)
+	observations, interval := sim.observations, sim.cfg.interval(sim.now)
 	b.ResetTimer()
 	for i := range b.N {
-		for k := range seen {
-			seen[k].Interval = part + int64(i)
+		for j := range observations {
+			observations[j].Interval = interval + int64(i)
 		}
-		w.controller.Evaluate(w.now+time.Duration(i)*w.cfg.SampleInterval, w.state, seen, w.regions, w.demand)
+		sim.controller.Evaluate(sim.now+time.Duration(i)*sim.cfg.SampleInterval, sim.state, observations, sim.regions, sim.demand)
 	}
 }
 
 func heapBytes() float64 {
 	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
 }
 
 // What a member holds that hears all others tell as much as they may of a part.
 func BenchmarkAggregator(b *testing.B) {
 	for _, members := range []int{10, 100, 300} {
 		b.Run(fmt.Sprint(members), func(b *testing.B) {
-			w := newSimulation(b, 1000, 12, 12, 0.4)
+			sim := newSimulation(b, 1000, 12, 12, 0.4)
 			for i := range b.N {
-				f, st := NewAggregator(w.cfg), NewController(w.cfg)
+				aggregator, controller := NewAggregator(sim.cfg), NewController(sim.cfg)
 				before := heapBytes()
-				f.SetContracts(w.state, w.regions)
+				aggregator.SetContracts(sim.state, sim.regions)
 				for m := range members {
-					t := NewRecorder(w.cfg, fmt.Sprint("n", m), w.regions[m%12].Name, 1)
-					t.SetContracts(w.state)
-					t.Rotate(w.now)
-					for k := range 4 * w.cfg.MaxMeasurements { // four times in each of as many pairs as may be told
+					recorder := NewRecorder(sim.cfg, fmt.Sprint("n", m), sim.regions[m%12].Name, 1)
+					recorder.SetContracts(sim.state)
+					recorder.Rotate(sim.now)
+					for k := range 4 * sim.cfg.MaxMeasurements { // four times in each of as many pairs as may be told
 						k = k/4 + m*37
-						t.Record(w.now, w.state.Contracts[k%1000].Name, w.regions[k/1000%12].Name, time.Duration(5+k*7%60)*time.Millisecond)
+						recorder.Record(sim.now, sim.state.Contracts[k%1000].Name, sim.regions[k/1000%12].Name, time.Duration(5+k*7%60)*time.Millisecond)
 					}
-					if news, err := f.Merge(w.now, *t.Rotate(w.now + w.cfg.SampleInterval)); !news || err != nil {
-						b.Fatal(news, err)
+					if isNew, err := aggregator.Merge(sim.now, *recorder.Rotate(sim.now + sim.cfg.SampleInterval)); !isNew || err != nil {
+						b.Fatal(isNew, err)
 					}
 				}
-				held := heapBytes() - before
+				heldBytes := heapBytes() - before
 				start := time.Now()
-				seen := f.CloseIntervals(w.now + 3*w.cfg.SampleInterval)
-				fold := time.Since(start)
-				for slot := range int64(w.cfg.EvidenceIntervals) {
-					for k := range seen {
-						seen[k].Interval += min(slot, 1)
+				observations := aggregator.CloseIntervals(sim.now + 3*sim.cfg.SampleInterval)
+				mergeTime := time.Since(start)
+				for interval := range int64(sim.cfg.EvidenceIntervals) {
+					for k := range observations {
+						observations[k].Interval += min(interval, 1)
 					}
-					st.Observe(w.state, seen)
+					controller.Observe(sim.state, observations)
 				}
 				if i == 0 {
-					b.ReportMetric(held, "B/part")
-					b.ReportMetric(float64(fold.Microseconds())/1000, "ms/fold")
-					n := len(seen)
-					seen = nil
+					b.ReportMetric(heldBytes, "B/part")
+					b.ReportMetric(float64(mergeTime.Microseconds())/1000, "ms/fold")
+					n := len(observations)
+					observations = nil
 					b.ReportMetric(float64(n), "seen/part")
 					b.ReportMetric(heapBytes()-before, "B/steer")
 				}
-				runtime.KeepAlive(st)
+				runtime.KeepAlive(controller)
 			}
 		})
 	}
@@ -111,20 +111,20 @@
 
 // A node that measures every pair there is.
 func BenchmarkRecorder(b *testing.B) {
-	w := newSimulation(b, 1000, 12, 12, 0.4)
-	w.cfg.MaxMeasurements = maxMeasurementsLimit
-	t := NewRecorder(w.cfg, "n", "z", 1)
-	t.SetContracts(w.state)
-	t.Rotate(w.now)
+	sim := newSimulation(b, 1000, 12, 12, 0.4)
+	sim.cfg.MaxMeasurements = maxMeasurementsLimit
+	recorder := NewRecorder(sim.cfg, "n", "z", 1)
+	recorder.SetContracts(sim.state)
+	recorder.Rotate(sim.now)
 	before := heapBytes()
 	i := 0
 	for ; i < 60000; i++ {
-		t.Record(w.now, w.state.Contracts[i%1000].Name, w.regions[i/1000%12].Name, time.Duration(5+i*7%60)*time.Millisecond)
+		recorder.Record(sim.now, sim.state.Contracts[i%1000].Name, sim.regions[i/1000%12].Name, time.Duration(5+i*7%60)*time.Millisecond)
 	}
-	pair := (heapBytes() - before) / float64(len(t.histograms))
+	bytesPerPair := (heapBytes() - before) / float64(len(recorder.histograms))
 	for b.Loop() {
-		t.Record(w.now, w.state.Contracts[i%1000].Name, "r00", 20*time.Millisecond)
+		recorder.Record(sim.now, sim.state.Contracts[i%1000].Name, "r00", 20*time.Millisecond)
 		i++
 	}
-	b.ReportMetric(pair, "B/pair")
+	b.ReportMetric(bytesPerPair, "B/pair")
 }
--- a/internal/fleet/slo/loop_test.go
+++ b/internal/fleet/slo/loop_test.go
@@ -9,38 +9,38 @@
 // that they all went to. The loop settles: from the 20th minute after the fault on, less
 // than 1 % of the set-ups is moved in any minute. Greedy steering never does.
 func TestControlLoopSettles(t *testing.T) {
-	play := func(g Guards, still bool) (*simulation, float64) {
-		w := newSimulation(t, 90, 4, 4, 0.45)
-		w.controller.DisabledGuards, w.frozen = g, still
-		w.run(12 * time.Minute)
-		w.meanMs["r00"] = 60
-		w.run(40 * time.Minute)
-		return w, float64(w.keptWindows[0]+w.keptWindows[1]+w.keptWindows[2]) / float64(w.windows[0]+w.windows[1]+w.windows[2])
+	simulate := func(disabled Guards, unsteered bool) (*simulation, float64) {
+		sim := newSimulation(t, 90, 4, 4, 0.45)
+		sim.controller.DisabledGuards, sim.frozen = disabled, unsteered
+		sim.run(12 * time.Minute)
+		sim.meanMs["r00"] = 60
+		sim.run(40 * time.Minute)
+		return sim, float64(sim.keptWindows[0]+sim.keptWindows[1]+sim.keptWindows[2]) / float64(sim.windows[0]+sim.windows[1]+sim.windows[2])
 	}
-	w, kept := play(Guards{}, false)
-	greedy, fewer := play(Guards{GradualMoves: true}, false)
-	_, still := play(Guards{}, true)
-	t.Logf("moved a minute %.4f, greedy %.3f; windows kept %.3f, greedy %.3f, unsteered %.3f; most load %.2f, greedy %.2f", w.busiestMinute(32), greedy.busiestMinute(32), kept, fewer, still, w.maxLoad, greedy.maxLoad)
-	if kept < 0.9 || still >= 0.9 || fewer >= 0.9 {
-		t.Errorf("%.3f of the windows are kept, %.3f unsteered, %.3f greedy", kept, still, fewer)
+	sim, kept := simulate(Guards{}, false)
+	greedy, greedyKept := simulate(Guards{GradualMoves: true}, false)
+	_, unsteered := simulate(Guards{}, true)
+	t.Logf("moved a minute %.4f, greedy %.3f; windows kept %.3f, greedy %.3f, unsteered %.3f; most load %.2f, greedy %.2f", sim.busiestMinute(32), greedy.busiestMinute(32), kept, greedyKept, unsteered, sim.maxLoad, greedy.maxLoad)
+	if kept < 0.9 || unsteered >= 0.9 || greedyKept >= 0.9 {
+		t.Errorf("%.3f of the windows are kept, %.3f unsteered, %.3f greedy", kept, unsteered, greedyKept)
 	}
-	if x := w.busiestMinute(32); x >= 0.01 {
-		t.Errorf("%.3f of the set-ups is moved in a minute", x)
+	if moved := sim.busiestMinute(32); moved >= 0.01 {
+		t.Errorf("%.3f of the set-ups is moved in a minute", moved)
 	}
-	if x := w.busiestMinute(0); x > 2*w.cfg.MaxMoveFraction {
-		t.Errorf("%.3f of the set-ups is moved in a minute, two steps are %.2f", x, 2*w.cfg.MaxMoveFraction)
+	if moved := sim.busiestMinute(0); moved > 2*sim.cfg.MaxMoveFraction {
+		t.Errorf("%.3f of the set-ups is moved in a minute, two steps are %.2f", moved, 2*sim.cfg.MaxMoveFraction)
 	}
-	if x := greedy.busiestMinute(32); x < 0.1 {
-		t.Errorf("greedy steering moves %.3f a minute: this test can't fail", x)
+	if moved := greedy.busiestMinute(32); moved < 0.1 {
+		t.Errorf("greedy steering moves %.3f a minute: this test can't fail", moved)
 	}
 }
 
 // Each guard, taken out, breaks what it is there for.
 func TestDisabledGuardShowsItsFault(t *testing.T) {
-	greatest := func(w *simulation, region string) (most float64) {
+	maxShare := func(sim *simulation, region string) (most float64) {
 		for range 24 {
-			w.run(w.cfg.SampleInterval)
-			for _, a := range w.state.Allocations {
+			sim.run(sim.cfg.SampleInterval)
+			for _, a := range sim.state.Allocations {
 				most = max(most, a.Shares[region])
 			}
 		}
@@ -50,57 +50,57 @@
 		name  string
 		out   Guards
 		bound float64
-		play  func(g Guards) float64
+		play  func(disabled Guards) float64
 	}{
-		{"moved though all is well, with few samples", Guards{Confidence: true}, 0.1, func(g Guards) float64 {
-			w := newSimulation(t, 90, 4, 4, 0.02)
-			w.controller.DisabledGuards = g
-			for _, r := range w.regions {
-				w.meanMs[r.Name] = 28
+		{"moved though all is well, with few samples", Guards{Confidence: true}, 0.1, func(disabled Guards) float64 {
+			sim := newSimulation(t, 90, 4, 4, 0.02)
+			sim.controller.DisabledGuards = disabled
+			for _, r := range sim.regions {
+				sim.meanMs[r.Name] = 28
 			}
-			w.run(30 * time.Minute)
-			return w.movedFraction(0)
+			sim.run(30 * time.Minute)
+			return sim.movedFraction(0)
 		}},
-		{"moved where regions break a promise for moments", Guards{Hysteresis: true}, 0.02, func(g Guards) float64 {
-			w := newSimulation(t, 60, 3, 3, 0.5)
-			w.controller.DisabledGuards = g
-			w.run(12 * time.Minute)
+		{"moved where regions break a promise for moments", Guards{Hysteresis: true}, 0.02, func(disabled Guards) float64 {
+			sim := newSimulation(t, 60, 3, 3, 0.5)
+			sim.controller.DisabledGuards = disabled
+			sim.run(12 * time.Minute)
 			for i := range 15 {
-				w.meanMs[w.regions[i%3].Name] = 60
-				w.run(w.cfg.SampleInterval)
-				w.meanMs[w.regions[i%3].Name] = 10
-				w.run(35 * w.cfg.SampleInterval)
+				sim.meanMs[sim.regions[i%3].Name] = 60
+				sim.run(sim.cfg.SampleInterval)
+				sim.meanMs[sim.regions[i%3].Name] = 10
+				sim.run(35 * sim.cfg.SampleInterval)
 			}
-			return w.movedFraction(0)
+			return sim.movedFraction(0)
 		}},
-		{"of a contract that explores", Guards{ExploreLimit: true}, 0.02, func(g Guards) float64 {
-			w := newSimulation(t, 30, 3, 3, 0.2)
-			w.controller.DisabledGuards = g
-			w.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
-			return greatest(w, "r02")
+		{"of a contract that explores", Guards{ExploreLimit: true}, 0.02, func(disabled Guards) float64 {
+			sim := newSimulation(t, 30, 3, 3, 0.2)
+			sim.controller.DisabledGuards = disabled
+			sim.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
+			return maxShare(sim, "r02")
 		}},
-		{"load of a small region", Guards{CapacityLimits: true}, 0.86, func(g Guards) float64 {
-			w := newSimulation(t, 60, 3, 3, 0.3)
-			w.controller.DisabledGuards = g
-			w.regions[2].Capacity = 400
-			w.meanMs["r00"], w.meanMs["r01"], w.meanMs["r02"] = 60, 60, 1
-			w.run(30 * time.Minute)
-			return w.maxLoad
+		{"load of a small region", Guards{CapacityLimits: true}, 0.86, func(disabled Guards) float64 {
+			sim := newSimulation(t, 60, 3, 3, 0.3)
+			sim.controller.DisabledGuards = disabled
+			sim.regions[2].Capacity = 400
+			sim.meanMs["r00"], sim.meanMs["r01"], sim.meanMs["r02"] = 60, 60, 1
+			sim.run(30 * time.Minute)
+			return sim.maxLoad
 		}},
-		{"contracts that hold to old evidence and stay away", Guards{EvidenceExpiry: true}, 0, func(g Guards) float64 {
-			w := newSimulation(t, 30, 3, 3, 0.2)
-			w.steerAll(map[string]float64{"r02": 1})
-			w.meanMs["r02"] = 60
-			w.regions[0].UsableFraction, w.regions[1].UsableFraction = 0, 0
-			w.run(2 * time.Minute)
-			for i := range w.state.Allocations { // another leader brought them away
-				w.state.Allocations[i].Shares, w.state.Allocations[i].UnmetReason = map[string]float64{"r00": 1}, ""
+		{"contracts that hold to old evidence and stay away", Guards{EvidenceExpiry: true}, 0, func(disabled Guards) float64 {
+			sim := newSimulation(t, 30, 3, 3, 0.2)
+			sim.steerAll(map[string]float64{"r02": 1})
+			sim.meanMs["r02"] = 60
+			sim.regions[0].UsableFraction, sim.regions[1].UsableFraction = 0, 0
+			sim.run(2 * time.Minute)
+			for i := range sim.state.Allocations { // another leader brought them away
+				sim.state.Allocations[i].Shares, sim.state.Allocations[i].UnmetReason = map[string]float64{"r00": 1}, ""
 			}
-			w.regions[0].UsableFraction, w.meanMs["r02"] = 1, 10
-			w.controller.DisabledGuards = g
-			if greatest(w, "r02") == 0 {
-				w.run(10 * time.Minute)
-				if greatest(w, "r02") == 0 {
+			sim.regions[0].UsableFraction, sim.meanMs["r02"] = 1, 10
+			sim.controller.DisabledGuards = disabled
+			if maxShare(sim, "r02") == 0 {
+				sim.run(10 * time.Minute)
+				if maxShare(sim, "r02") == 0 {
 					return 1
 				}
 			}
@@ -120,19 +120,19 @@
 
 // Whose budget is being spent explores nothing, though it could; whose is not, does.
 func TestBurningContractsDoNotExplore(t *testing.T) {
-	w := newSimulation(t, 30, 3, 3, 0.2)
-	w.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
-	for i := range w.state.Contracts { // some have a bound that nobody keeps
+	sim := newSimulation(t, 30, 3, 3, 0.2)
+	sim.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
+	for i := range sim.state.Contracts { // some have a bound that nobody keeps
 		if i%2 == 0 {
-			w.state.Contracts[i].Objective = 2 * time.Millisecond
+			sim.state.Contracts[i].Objective = 2 * time.Millisecond
 		}
 	}
-	w.run(4 * time.Minute)
+	sim.run(4 * time.Minute)
 	explorers := 0
-	for i, a := range w.state.Allocations {
-		if x := a.Shares["r02"]; x > 0 && a.UnmetReason == "" && i%2 == 0 && w.controller.contracts[a.Contract].history != 0 {
-			t.Errorf("%s burns and has %.3f where nobody measured", a.Contract, x)
-		} else if x > 0 {
+	for i, a := range sim.state.Allocations {
+		if share := a.Shares["r02"]; share > 0 && a.UnmetReason == "" && i%2 == 0 && sim.controller.contracts[a.Contract].history != 0 {
+			t.Errorf("%s burns and has %.3f where nobody measured", a.Contract, share)
+		} else if share > 0 {
 			explorers++
 		}
 	}
--- a/internal/fleet/slo/merge.go
+++ b/internal/fleet/slo/merge.go
@@ -45,122 +45,122 @@
 
 // Know takes the contracts and regions that count from now on: what else samples name is
 // left out.
-func (f *Aggregator) SetContracts(s State, regions []Region) {
-	clear(f.internedNames)
-	for _, c := range s.Contracts {
-		f.internedNames[c.Name] = c.Name
+func (a *Aggregator) SetContracts(state State, regions []Region) {
+	clear(a.internedNames)
+	for _, contract := range state.Contracts {
+		a.internedNames[contract.Name] = contract.Name
 	}
-	for _, r := range regions {
-		f.internedNames[r.Name] = r.Name
+	for _, region := range regions {
+		a.internedNames[region.Name] = region.Name
 	}
 }
 
 // Merge takes a sample of a member that membership knows, in any order and as often as one
 // likes. The error tells what is wrong with a sample; news is false for one that came
 // before, too late or too early.
-func (f *Aggregator) Merge(now time.Duration, s Sample) (news bool, err error) {
-	if err := s.validate(f.cfg.MaxMeasurements); err != nil {
+func (a *Aggregator) Merge(now time.Duration, sample Sample) (isNew bool, err error) {
+	if err := sample.validate(a.cfg.MaxMeasurements); err != nil {
 		return false, err
 	}
-	if s.Interval <= f.lastClosed || s.Interval <= f.cfg.interval(now-f.cfg.LateSampleTimeout)-1 || s.Interval > f.cfg.interval(now+f.cfg.LateSampleTimeout) {
+	if sample.Interval <= a.lastClosed || sample.Interval <= a.cfg.interval(now-a.cfg.LateSampleTimeout)-1 || sample.Interval > a.cfg.interval(now+a.cfg.LateSampleTimeout) {
 		return false, nil
 	}
-	members := f.samples[s.Interval]
+	members := a.samples[sample.Interval]
 	if members == nil {
 		members = map[string]*Sample{}
-		f.samples[s.Interval] = members
+		a.samples[sample.Interval] = members
 	}
-	old := members[s.Member]
-	if old != nil && !s.isNewerThan(old) {
+	previous := members[sample.Member]
+	if previous != nil && !sample.isNewerThan(previous) {
 		return false, nil
 	}
-	if old == nil && len(members) >= maxMembers {
-		return false, fmt.Errorf("sample of member %q: %d members have told already", s.Member, len(members))
+	if previous == nil && len(members) >= maxMembers {
+		return false, fmt.Errorf("sample of member %q: %d members have told already", sample.Member, len(members))
 	}
-	kept := make([]Measurement, 0, len(s.Measurements))
-	for _, c := range s.Measurements {
-		name, ok := f.internedNames[c.Contract]
-		if _, known := f.internedNames[s.Regions[c.RegionIndex]]; ok && known {
-			kept = append(kept, Measurement{name, c.RegionIndex, slices.Clip(c.Histogram)})
+	kept := make([]Measurement, 0, len(sample.Measurements))
+	for _, measurement := range sample.Measurements {
+		name, ok := a.internedNames[measurement.Contract]
+		if _, known := a.internedNames[sample.Regions[measurement.RegionIndex]]; ok && known {
+			kept = append(kept, Measurement{name, measurement.RegionIndex, slices.Clip(measurement.Histogram)})
 		}
 	}
-	s.Measurements = kept
-	members[s.Member] = &s
+	sample.Measurements = kept
+	members[sample.Member] = &sample
 	return true, nil
 }
 
 // Turn hands out, once, what was seen in the parts for which no more samples are taken,
 // sorted by part, contract, region and zone.
-func (f *Aggregator) CloseIntervals(now time.Duration) (seen []Observation) {
-	due := f.cfg.interval(now-f.cfg.LateSampleTimeout) - 1
-	if due <= f.lastClosed {
+func (a *Aggregator) CloseIntervals(now time.Duration) (observations []Observation) {
+	lastDue := a.cfg.interval(now-a.cfg.LateSampleTimeout) - 1
+	if lastDue <= a.lastClosed {
 		return nil
 	}
-	f.lastClosed, f.Dropped = due, 0
-	for _, slot := range slices.Sorted(maps.Keys(f.samples)) {
-		if slot <= due {
-			seen = append(seen, f.mergeInterval(slot)...)
-			delete(f.samples, slot)
+	a.lastClosed, a.Dropped = lastDue, 0
+	for _, interval := range slices.Sorted(maps.Keys(a.samples)) {
+		if interval <= lastDue {
+			observations = append(observations, a.mergeInterval(interval)...)
+			delete(a.samples, interval)
 		}
 	}
-	return seen
+	return observations
 }
 
-func (f *Aggregator) mergeInterval(slot int64) (seen []Observation) {
-	members := f.samples[slot]
+func (a *Aggregator) mergeInterval(interval int64) (observations []Observation) {
+	members := a.samples[interval]
 	type told struct {
 		from string
 		hist Histogram
 	}
-	of := map[contractRegion][]told{}
+	histogramsByPair := map[contractRegion][]told{}
 	for _, name := range slices.Sorted(maps.Keys(members)) {
-		s := members[name]
-		f.Dropped += s.Dropped
-		for _, c := range s.Measurements {
-			p := contractRegion{c.Contract, s.Regions[c.RegionIndex]}
-			of[p] = append(of[p], told{s.Zone, c.Histogram})
+		sample := members[name]
+		a.Dropped += sample.Dropped
+		for _, measurement := range sample.Measurements {
+			pair := contractRegion{measurement.Contract, sample.Regions[measurement.RegionIndex]}
+			histogramsByPair[pair] = append(histogramsByPair[pair], told{sample.Zone, measurement.Histogram})
 		}
 	}
-	pairs := slices.SortedFunc(maps.Keys(of), func(a, b contractRegion) int {
-		return cmp.Or(cmp.Compare(a.contract, b.contract), cmp.Compare(a.region, b.region))
+	pairs := slices.SortedFunc(maps.Keys(histogramsByPair), func(x, y contractRegion) int {
+		return cmp.Or(cmp.Compare(x.contract, y.contract), cmp.Compare(x.region, y.region))
 	})
-	for _, p := range pairs {
-		all := make([]int64, len(of[p]))
-		for i, t := range of[p] {
-			all[i] = t.hist.Count()
+	for _, pair := range pairs {
+		counts := make([]int64, len(histogramsByPair[pair]))
+		for i, zoneHist := range histogramsByPair[pair] {
+			counts[i] = zoneHist.hist.Count()
 		}
-		slices.Sort(all)
-		most := maxMedianMultiple * all[(len(all)-1)/2]
-		from := map[string]*hdr.PackedHistogram{}
-		for _, t := range of[p] {
-			if from[t.from] == nil {
-				from[t.from] = newPackedHistogram()
+		slices.Sort(counts)
+		limit := maxMedianMultiple * counts[(len(counts)-1)/2]
+		merged := map[string]*hdr.PackedHistogram{}
+		for _, zoneHist := range histogramsByPair[pair] {
+			if merged[zoneHist.from] == nil {
+				merged[zoneHist.from] = newPackedHistogram()
 			}
-			_ = t.hist.addTo(from[t.from], most) // sound ones lie within the buckets
+			_ = zoneHist.hist.addTo(merged[zoneHist.from], limit) // sound ones lie within the buckets
 		}
-		for _, zone := range slices.Sorted(maps.Keys(from)) {
-			if h := encodeHistogram(from[zone]); len(h) > 0 {
-				seen = append(seen, Observation{zone, p.contract, f.intern(p.region), slot, len(all), h})
+		for _, zone := range slices.Sorted(maps.Keys(merged)) {
+			if histogram := encodeHistogram(merged[zone]); len(histogram) > 0 {
+				observations = append(observations, Observation{zone, pair.contract, a.intern(pair.region), interval, len(counts), histogram})
 			}
 		}
 	}
-	return seen
+	return observations
 }
 
 // name returns the one copy of a name, so that what is kept holds no sample's memory.
-func (f *Aggregator) intern(s string) string {
-	if one, ok := f.internedNames[s]; ok {
-		return one
+func (a *Aggregator) intern(name string) string {
+	if interned, ok := a.internedNames[name]; ok {
+		return interned
 	}
-	return s
+	return name
 }
 
 // Cells is how many cells wait for their part's end.
-func (f *Aggregator) PendingMeasurements() (n int) {
-	for _, members := range f.samples {
-		for _, s := range members {
-			n += len(s.Measurements)
+func (a *Aggregator) PendingMeasurements() (count int) {
+	for _, members := range a.samples {
+		for _, sample := range members {
+			count += len(sample.Measurements)
 		}
 	}
-	return min(n, math.MaxInt32)
+	return min(count, math.MaxInt32)
 }
--- a/internal/fleet/slo/move.go
+++ b/internal/fleet/slo/move.go
@@ -8,76 +8,76 @@
 
 // move takes a part of a contract out of regions that break its promise: no more than a
 // step, and into each region no more than it takes in a period, up to where it is full.
-func (st *Controller) moveFromBreaches(w *placement, places []regionCapacity) {
-	if st.DisabledGuards.GradualMoves {
-		st.moveAllToBest(w, places)
+func (c *Controller) moveFromBreaches(p *placement, regions []regionCapacity) {
+	if c.DisabledGuards.GradualMoves {
+		c.moveAllToBest(p, regions)
 		return
 	}
-	if !w.maySteer || !w.isDue || !w.isBurning && !st.DisabledGuards.Hysteresis {
+	if !p.maySteer || !p.isDue || !p.isBurning && !c.DisabledGuards.Hysteresis {
 		return
 	}
-	var from, to []int
-	for _, r := range w.rankedRegions(places) {
-		v := w.regionViews[r]
+	var sources, destinations []int
+	for _, index := range p.rankedRegions(regions) {
+		view := p.regionViews[index]
 		switch {
-		case v.verdict == breaches:
-			if v.breachConfirmed && w.next[r] > 0 {
-				from = append(from, r)
+		case view.verdict == breaches:
+			if view.breachConfirmed && p.next[index] > 0 {
+				sources = append(sources, index)
 			}
-		case v.hasMargin || v.verdict == unknown:
-			to = append(to, r)
+		case view.hasMargin || view.verdict == unknown:
+			destinations = append(destinations, index)
 		}
 	}
-	slices.SortStableFunc(from, func(a, b int) int { return cmp.Compare(w.regionViews[a].score, w.regionViews[b].score) })
-	if len(from) == 0 {
+	slices.SortStableFunc(sources, func(a, b int) int { return cmp.Compare(p.regionViews[a].score, p.regionViews[b].score) })
+	if len(sources) == 0 {
 		return
 	}
-	step := int(st.cfg.MaxMoveFraction * thousandths)
+	step := int(c.cfg.MaxMoveFraction * thousandths)
 	left := step
-	for _, f := range from {
-		for _, r := range to {
-			k := min(left, w.next[f])
-			if !st.DisabledGuards.CapacityLimits {
-				k = fitting(min(places[r].headroom, places[r].inflowLeft), w.ratePerThousandth, k)
+	for _, source := range sources {
+		for _, index := range destinations {
+			share := min(left, p.next[source])
+			if !c.DisabledGuards.CapacityLimits {
+				share = fitting(min(regions[index].headroom, regions[index].inflowLeft), p.ratePerThousandth, share)
 			}
-			left -= k
-			w.next[f], w.next[r] = w.next[f]-k, w.next[r]+k
-			places[f].reserve(w, -k)
-			places[r].reserve(w, k)
-			places[r].inflowLeft -= float64(k) * w.ratePerThousandth
-			places[r].displaced += float64(k) * w.ratePerThousandth
+			left -= share
+			p.next[source], p.next[index] = p.next[source]-share, p.next[index]+share
+			regions[source].reserve(p, -share)
+			regions[index].reserve(p, share)
+			regions[index].inflowLeft -= float64(share) * p.ratePerThousandth
+			regions[index].displaced += float64(share) * p.ratePerThousandth
 		}
 	}
-	w.moved += step - left
+	p.moved += step - left
 	switch {
-	case left < step || w.unmetReason != "":
-	case len(to) > 0:
-		w.unmetReason = "limit: " + joinRegionNames(places, to) + " may keep it and have no room"
-	case w.meetsAnywhere(places):
-		w.unmetReason = "limit: its regions keep it by less than the margin"
+	case left < step || p.unmetReason != "":
+	case len(destinations) > 0:
+		p.unmetReason = "limit: " + joinRegionNames(regions, destinations) + " may keep it and have no room"
+	case p.meetsAnywhere(regions):
+		p.unmetReason = "limit: its regions keep it by less than the margin"
 	default:
-		w.unmetReason = fmt.Sprintf("bound: none of %s keeps %v within %v", joinRegionNames(places, w.rankedRegions(places)), w.contract.Quantile, w.contract.Objective)
+		p.unmetReason = fmt.Sprintf("bound: none of %s keeps %v within %v", joinRegionNames(regions, p.rankedRegions(regions)), p.contract.Quantile, p.contract.Objective)
 	}
 }
 
 // kept tells whether any region keeps the promise.
-func (w *placement) meetsAnywhere(places []regionCapacity) bool {
-	return slices.ContainsFunc(w.rankedRegions(places), func(r int) bool { return w.regionViews[r].verdict == meets })
+func (p *placement) meetsAnywhere(regions []regionCapacity) bool {
+	return slices.ContainsFunc(p.rankedRegions(regions), func(r int) bool { return p.regionViews[r].verdict == meets })
 }
 
 // rush is what a greedy controller does: all there is goes to the best region.
-func (st *Controller) moveAllToBest(w *placement, places []regionCapacity) {
-	list := w.rankedRegions(places)
-	if !w.maySteer || !w.isDue || len(list) == 0 {
+func (c *Controller) moveAllToBest(p *placement, regions []regionCapacity) {
+	ranked := p.rankedRegions(regions)
+	if !p.maySteer || !p.isDue || len(ranked) == 0 {
 		return
 	}
-	best := slices.MaxFunc(list, func(a, b int) int { return cmp.Compare(w.regionViews[a].score, w.regionViews[b].score) })
-	for r := range places {
+	best := slices.MaxFunc(ranked, func(a, b int) int { return cmp.Compare(p.regionViews[a].score, p.regionViews[b].score) })
+	for r := range regions {
 		if r != best {
-			k := w.next[r]
-			w.next[r], w.next[best], w.moved = 0, w.next[best]+k, w.moved+k
-			places[r].reserve(w, -k)
-			places[best].reserve(w, k)
+			share := p.next[r]
+			p.next[r], p.next[best], p.moved = 0, p.next[best]+share, p.moved+share
+			regions[r].reserve(p, -share)
+			regions[best].reserve(p, share)
 		}
 	}
 }
--- a/internal/fleet/slo/state.go
+++ b/internal/fleet/slo/state.go
@@ -32,92 +32,92 @@
 
 // Contract returns the contract of that name.
 func (s State) Contract(name string) (Contract, bool) {
-	i, ok := slices.BinarySearchFunc(s.Contracts, name, func(c Contract, n string) int { return cmp.Compare(c.Name, n) })
+	index, ok := slices.BinarySearchFunc(s.Contracts, name, func(contract Contract, target string) int { return cmp.Compare(contract.Name, target) })
 	if !ok {
 		return Contract{}, false
 	}
-	return s.Contracts[i], true
+	return s.Contracts[index], true
 }
 
 // Allocation returns where a contract's transactions go, if that was ever decided.
 func (s State) Allocation(name string) (Allocation, bool) {
-	i, ok := s.allocationIndex(name)
+	index, ok := s.allocationIndex(name)
 	if !ok {
 		return Allocation{}, false
 	}
-	return s.Allocations[i], true
+	return s.Allocations[index], true
 }
 
 func (s State) allocationIndex(name string) (int, bool) {
-	return slices.BinarySearchFunc(s.Allocations, name, func(a Allocation, n string) int { return cmp.Compare(a.Contract, n) })
+	return slices.BinarySearchFunc(s.Allocations, name, func(allocation Allocation, target string) int { return cmp.Compare(allocation.Contract, target) })
 }
 
 // Apply returns the state after a change made at a time (Unix ms), or why it is not taken;
 // may tells whether its author may give contracts to a holder.
-func (s State) Apply(c Change, at int64, may func(holder string) error) (State, error) {
-	authored := len(c.Set) + len(c.Drop)
+func (s State) Apply(change Change, at int64, mayGrant func(holder string) error) (State, error) {
+	contractChanges := len(change.Set) + len(change.Drop)
 	switch {
-	case c.BaseVersion != s.Version:
-		return s, fmt.Errorf("made on version %d of the contracts, which are at %d", c.BaseVersion, s.Version)
-	case authored == 0 && len(c.Allocations) == 0:
+	case change.BaseVersion != s.Version:
+		return s, fmt.Errorf("made on version %d of the contracts, which are at %d", change.BaseVersion, s.Version)
+	case contractChanges == 0 && len(change.Allocations) == 0:
 		return s, errors.New("changes nothing")
-	case authored > 0 && len(c.Allocations) > 0:
+	case contractChanges > 0 && len(change.Allocations) > 0:
 		return s, errors.New("sets contracts and steers them: one entry does one of both")
 	case at <= 0 || at > 1<<52:
 		return s, fmt.Errorf("at %d: no time", at)
-	case len(c.Allocations) > 0:
-		return s.applyAllocations(c, at)
+	case len(change.Allocations) > 0:
+		return s.applyAllocations(change, at)
 	}
-	return s.applyContracts(c, may)
+	return s.applyContracts(change, mayGrant)
 }
 
-func (s State) applyContracts(c Change, may func(holder string) error) (State, error) {
-	of := map[string]Contract{}
-	for _, k := range s.Contracts {
-		of[k.Name] = k
-	}
-	named := map[string]bool{}
-	for _, name := range c.Drop {
-		k, ok := of[name]
+func (s State) applyContracts(change Change, mayGrant func(holder string) error) (State, error) {
+	contracts := map[string]Contract{}
+	for _, contract := range s.Contracts {
+		contracts[contract.Name] = contract
+	}
+	seen := map[string]bool{}
+	for _, name := range change.Drop {
+		contract, ok := contracts[name]
 		if !ok {
 			return s, fmt.Errorf("contract %.64q: there is none", name)
 		}
-		if err := may(k.Holder); err != nil {
+		if err := mayGrant(contract.Holder); err != nil {
 			return s, fmt.Errorf("contract %q: %w", name, err)
 		}
-		delete(of, name)
+		delete(contracts, name)
 	}
-	for _, k := range c.Set {
-		if err := k.validate(); err != nil {
+	for _, contract := range change.Set {
+		if err := contract.validate(); err != nil {
 			return s, err
 		}
-		if named[k.Name] {
-			return s, fmt.Errorf("contract %q: set twice", k.Name)
+		if seen[contract.Name] {
+			return s, fmt.Errorf("contract %q: set twice", contract.Name)
 		}
-		named[k.Name] = true
-		holders := []string{k.Holder}
-		if old, ok := of[k.Name]; ok && old.Holder != k.Holder {
-			holders = append(holders, old.Holder)
+		seen[contract.Name] = true
+		holders := []string{contract.Holder}
+		if previous, ok := contracts[contract.Name]; ok && previous.Holder != contract.Holder {
+			holders = append(holders, previous.Holder)
 		}
-		for _, h := range holders {
-			if err := may(h); err != nil {
-				return s, fmt.Errorf("contract %q: %w", k.Name, err)
+		for _, holder := range holders {
+			if err := mayGrant(holder); err != nil {
+				return s, fmt.Errorf("contract %q: %w", contract.Name, err)
 			}
 		}
-		k.Zones = slices.Clone(k.Zones)
-		of[k.Name] = k
+		contract.Zones = slices.Clone(contract.Zones)
+		contracts[contract.Name] = contract
 	}
-	if len(of) > maxContracts {
-		return s, fmt.Errorf("%d contracts, at most %d", len(of), maxContracts)
+	if len(contracts) > maxContracts {
+		return s, fmt.Errorf("%d contracts, at most %d", len(contracts), maxContracts)
 	}
 	next := State{Version: s.Version + 1, AllocationVersion: s.AllocationVersion}
-	for _, name := range slices.Sorted(maps.Keys(of)) {
-		next.Contracts = append(next.Contracts, of[name])
+	for _, name := range slices.Sorted(maps.Keys(contracts)) {
+		next.Contracts = append(next.Contracts, contracts[name])
 	}
 	// What was decided stands, unless its contract no longer allows it.
-	for _, a := range s.Allocations {
-		if k, ok := of[a.Contract]; ok && k.checkZones(a.Shares) == nil {
-			next.Allocations = append(next.Allocations, a)
+	for _, allocation := range s.Allocations {
+		if contract, ok := contracts[allocation.Contract]; ok && contract.checkZones(allocation.Shares) == nil {
+			next.Allocations = append(next.Allocations, allocation)
 		}
 	}
 	return next, nil
@@ -134,73 +134,73 @@
 }
 
 // round returns the share in whole thousandths, or false for what is none.
-func toThousandths(x float64) (int, bool) {
-	if !(x >= 0 && x <= 1) {
+func toThousandths(share float64) (int, bool) {
+	if !(share >= 0 && share <= 1) {
 		return 0, false
 	}
-	return int(math.Round(x * thousandths)), true
+	return int(math.Round(share * thousandths)), true
 }
 
-func (s State) applyAllocations(c Change, at int64) (State, error) {
-	if c.BaseAllocationVersion != s.AllocationVersion {
-		return s, fmt.Errorf("decided after step %d, and %d have been taken", c.BaseAllocationVersion, s.AllocationVersion)
+func (s State) applyAllocations(change Change, at int64) (State, error) {
+	if change.BaseAllocationVersion != s.AllocationVersion {
+		return s, fmt.Errorf("decided after step %d, and %d have been taken", change.BaseAllocationVersion, s.AllocationVersion)
 	}
 	next := s
 	next.AllocationVersion++
 	next.Allocations = slices.Clone(s.Allocations)
-	named := map[string]bool{}
-	for _, a := range c.Allocations {
-		k, ok := s.Contract(a.Contract)
+	seen := map[string]bool{}
+	for _, allocation := range change.Allocations {
+		contract, ok := s.Contract(allocation.Contract)
 		if !ok {
-			return s, fmt.Errorf("contract %.64q: there is none", a.Contract)
+			return s, fmt.Errorf("contract %.64q: there is none", allocation.Contract)
 		}
-		if named[a.Contract] {
-			return s, fmt.Errorf("contract %q: steered twice in one entry", a.Contract)
+		if seen[allocation.Contract] {
+			return s, fmt.Errorf("contract %q: steered twice in one entry", allocation.Contract)
 		}
-		named[a.Contract] = true
-		if err := a.normalize(&k); err != nil {
+		seen[allocation.Contract] = true
+		if err := allocation.normalize(&contract); err != nil {
 			return s, err
 		}
-		i, ok := next.allocationIndex(a.Contract)
+		index, ok := next.allocationIndex(allocation.Contract)
 		if ok {
-			old := next.Allocations[i]
+			previous := next.Allocations[index]
 			// A clock behind the last proposer's gains nothing.
-			now := max(at, old.SteeredAt)
-			if old.PreviouslySteeredAt > 0 && now < old.PreviouslySteeredAt+minSteerIntervalMs {
-				return s, fmt.Errorf("contract %q: steered twice within %d s", a.Contract, minSteerIntervalMs/1000)
+			now := max(at, previous.SteeredAt)
+			if previous.PreviouslySteeredAt > 0 && now < previous.PreviouslySteeredAt+minSteerIntervalMs {
+				return s, fmt.Errorf("contract %q: steered twice within %d s", allocation.Contract, minSteerIntervalMs/1000)
 			}
-			a.SteeredAt, a.PreviouslySteeredAt = now, old.SteeredAt
-			next.Allocations[i] = a
+			allocation.SteeredAt, allocation.PreviouslySteeredAt = now, previous.SteeredAt
+			next.Allocations[index] = allocation
 			continue
 		}
-		a.SteeredAt, a.PreviouslySteeredAt = at, 0
-		next.Allocations = slices.Insert(next.Allocations, i, a)
+		allocation.SteeredAt, allocation.PreviouslySteeredAt = at, 0
+		next.Allocations = slices.Insert(next.Allocations, index, allocation)
 	}
 	return next, nil
 }
 
 // sound checks an allocation and brings its shares to whole thousandths, in a map of its own.
-func (a *Allocation) normalize(c *Contract) error {
+func (a *Allocation) normalize(contract *Contract) error {
 	sum, shares := 0, make(map[string]float64, len(a.Shares))
 	if len(a.Shares) > maxZones {
-		return fmt.Errorf("contract %q: %d zones, at most %d", c.Name, len(a.Shares), maxZones)
+		return fmt.Errorf("contract %q: %d zones, at most %d", contract.Name, len(a.Shares), maxZones)
 	}
 	for _, zone := range slices.Sorted(maps.Keys(a.Shares)) {
-		k, ok := toThousandths(a.Shares[zone])
+		share, ok := toThousandths(a.Shares[zone])
 		if !ok || !isValidName(zone, 64) {
-			return fmt.Errorf("contract %q: zone %.64q: a share is 0 to 1", c.Name, zone)
+			return fmt.Errorf("contract %q: zone %.64q: a share is 0 to 1", contract.Name, zone)
 		}
-		if sum += k; k > 0 {
-			shares[zone] = float64(k) / thousandths
+		if sum += share; share > 0 {
+			shares[zone] = float64(share) / thousandths
 		}
 	}
 	if sum != thousandths {
-		return fmt.Errorf("contract %q: shares add up to %d thousandths", c.Name, sum)
+		return fmt.Errorf("contract %q: shares add up to %d thousandths", contract.Name, sum)
 	}
 	over, ok := toThousandths(a.Overflow)
 	if !ok || len(a.UnmetReason) > 256 {
-		return fmt.Errorf("contract %q: over is 0 to 1, a reason at most 256 bytes", c.Name)
+		return fmt.Errorf("contract %q: over is 0 to 1, a reason at most 256 bytes", contract.Name)
 	}
 	a.Shares, a.Overflow = shares, float64(over)/thousandths
-	return c.checkZones(shares)
+	return contract.checkZones(shares)
 }
--- a/internal/fleet/slo/state_test.go
+++ b/internal/fleet/slo/state_test.go
@@ -33,7 +33,7 @@
 		f(&a)
 		return Change{BaseVersion: 1, Allocations: []Allocation{a}}
 	}
-	s, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
+	state, err := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,12 +58,12 @@
 		{"below nothing", "a share is", steer(func(a *Allocation) { a.Shares["a"], a.Shares["b"] = -0.5, 1.5 })},
 		{"a zone that it may not use", `zone "c"`, steer(func(a *Allocation) { a.Shares = map[string]float64{"c": 1} })},
 	} {
-		before := fmt.Sprint(s)
-		next, err := s.Apply(tt.c, 5, mayGrant)
+		before := fmt.Sprint(state)
+		next, err := state.Apply(tt.c, 5, mayGrant)
 		if tt.err == "" && err != nil || tt.err != "" && (err == nil || !strings.Contains(err.Error(), tt.err)) {
 			t.Errorf("%s: %v, want %q", tt.name, err, tt.err)
 		}
-		if err != nil && !reflect.DeepEqual(next, s) || fmt.Sprint(s) != before {
+		if err != nil && !reflect.DeepEqual(next, state) || fmt.Sprint(state) != before {
 			t.Errorf("%s: changed what it was applied to", tt.name)
 		}
 	}
@@ -73,16 +73,16 @@
 // within a minute of the entries' own time.
 func TestContractIsSteeredAtMostTwiceAMinute(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s, _ := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
+		state, _ := State{}.Apply(Change{Set: []Contract{contract("k")}}, 1, mayGrant)
 		var taken []int64
 		for at := int64(100_000); len(taken) < 6; {
 			at += int64(rapid.IntRange(-20_000, 60_000).Draw(t, "later"))
-			next, err := s.Apply(Change{BaseVersion: 1, BaseAllocationVersion: s.AllocationVersion, Allocations: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), mayGrant)
+			next, err := state.Apply(Change{BaseVersion: 1, BaseAllocationVersion: state.AllocationVersion, Allocations: []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}}}, max(at, 1), mayGrant)
 			if err != nil {
 				continue
 			}
-			s = next
-			if taken = append(taken, s.Allocations[0].SteeredAt); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < minSteerIntervalMs {
+			state = next
+			if taken = append(taken, state.Allocations[0].SteeredAt); len(taken) > 2 && taken[len(taken)-1]-taken[len(taken)-3] < minSteerIntervalMs {
 				t.Fatalf("steered at %v", taken)
 			}
 		}
--- a/internal/fleet/slo/steer.go
+++ b/internal/fleet/slo/steer.go
@@ -40,151 +40,153 @@
 const maxAllocationsBytes = 200_000
 
 func (a *Allocation) encodedSize() int {
-	n := 120 + len(a.Contract) + len(a.UnmetReason)
+	size := 120 + len(a.Contract) + len(a.UnmetReason)
 	for zone := range a.Shares {
-		n += len(zone) + 10
+		size += len(zone) + 10
 	}
-	return n
+	return size
 }
 
 // Step takes what was seen since the last call and returns the change to propose, if there
 // is one, and why in words. now is Unix time, demand is set-ups a second by contract. Only
 // the leader proposes it; what it says is decided by the record's State and the evidence
 // alone, so that a new leader goes on where the last one was.
-func (st *Controller) Evaluate(now time.Duration, s State, seen []Observation, regions []Region, demand map[string]float64) (c Change, why string, ok bool) {
-	st.Observe(s, seen)
-	clear(st.pooledCounts)
-	slot := st.cfg.interval(now)
-	if st.lastMoveAt == 0 || st.lastMoveAt > now { // the last leader may have moved some just now
-		st.lastMoveAt = now
-	}
-	open := now-st.lastMoveAt >= st.cfg.MoveInterval
-	places := st.regionCapacities(regions)
-	wants := make([]*placement, 0, len(s.Contracts))
-	for i := range s.Contracts {
-		w := st.newPlacement(now, slot, s, &s.Contracts[i], places, demand)
-		w.isDue = w.isDue && open
-		wants = append(wants, w)
-	}
-	st.allocate(wants, places)
-	st.explore(wants, places, slot)
-
-	c = Change{BaseVersion: s.Version, BaseAllocationVersion: s.AllocationVersion}
+func (c *Controller) Evaluate(now time.Duration, state State, observations []Observation, regions []Region, demand map[string]float64) (change Change, reason string, ok bool) {
+	c.Observe(state, observations)
+	clear(c.pooledCounts)
+	interval := c.cfg.interval(now)
+	if c.lastMoveAt == 0 || c.lastMoveAt > now { // the last leader may have moved some just now
+		c.lastMoveAt = now
+	}
+	moveAllowed := now-c.lastMoveAt >= c.cfg.MoveInterval
+	capacities := c.regionCapacities(regions)
+	placements := make([]*placement, 0, len(state.Contracts))
+	for i := range state.Contracts {
+		p := c.newPlacement(now, interval, state, &state.Contracts[i], capacities, demand)
+		p.isDue = p.isDue && moveAllowed
+		placements = append(placements, p)
+	}
+	c.allocate(placements, capacities)
+	c.explore(placements, capacities, interval)
+
+	change = Change{BaseVersion: state.Version, BaseAllocationVersion: state.AllocationVersion}
 	moved, explored, unkept, size := 0, 0, 0, 0
-	slices.SortStableFunc(wants, func(a, b *placement) int { return cmp.Compare(a.contract.Priority, b.contract.Priority) })
-	for _, w := range wants {
-		a, changed := st.proposedAllocation(now, s, w, places)
+	slices.SortStableFunc(placements, func(allocation, b *placement) int {
+		return cmp.Compare(allocation.contract.Priority, b.contract.Priority)
+	})
+	for _, p := range placements {
+		allocation, changed := c.proposedAllocation(now, state, p, capacities)
 		if !changed {
 			continue
 		}
-		if size += a.encodedSize(); size > maxAllocationsBytes {
+		if size += allocation.encodedSize(); size > maxAllocationsBytes {
 			break
 		}
-		c.Allocations = append(c.Allocations, a)
-		if w.moved > 0 && w.isDue {
-			st.lastMoveAt = now
+		change.Allocations = append(change.Allocations, allocation)
+		if p.moved > 0 && p.isDue {
+			c.lastMoveAt = now
 		}
-		if w.exploredRegion != "" {
+		if p.exploredRegion != "" {
 			explored++
-		} else if w.moved > 0 {
+		} else if p.moved > 0 {
 			moved++
 		}
-		if a.UnmetReason != "" {
+		if allocation.UnmetReason != "" {
 			unkept++
 		}
 	}
-	if len(c.Allocations) == 0 {
+	if len(change.Allocations) == 0 {
 		return Change{}, "", false
 	}
-	return c, fmt.Sprintf("%d contracts moved, %d explore, %d of these can't be kept", moved, explored, unkept), true
+	return change, fmt.Sprintf("%d contracts moved, %d explore, %d of these can't be kept", moved, explored, unkept), true
 }
 
-func nonNegative(x float64) float64 {
-	if x > 0 && x <= 1e12 {
-		return x
+func nonNegative(value float64) float64 {
+	if value > 0 && value <= 1e12 {
+		return value
 	}
 	return 0
 }
 
 // places returns the regions by name, empty but for what is served under no contract.
-func (st *Controller) regionCapacities(regions []Region) []regionCapacity {
-	of := map[string]regionCapacity{}
-	for _, r := range regions {
-		if len(of) >= maxZones || !isValidName(r.Name, 64) {
+func (c *Controller) regionCapacities(regions []Region) []regionCapacity {
+	byName := map[string]regionCapacity{}
+	for _, region := range regions {
+		if len(byName) >= maxZones || !isValidName(region.Name, 64) {
 			continue
 		}
-		usable := min(nonNegative(r.UsableFraction), 1)
-		p := regionCapacity{name: r.Name, usable: usable > 0, capacity: nonNegative(r.Capacity) * usable}
-		p.spare = p.capacity - nonNegative(r.OtherTraffic)
-		p.headroom, p.inflowLeft = p.capacity*st.cfg.MaxUtilization-nonNegative(r.OtherTraffic), p.capacity*st.cfg.MaxInflowFraction
-		if r.Load > 1 { // its figure is too great, or others fill it
-			p.headroom, p.inflowLeft = 0, 0
+		usable := min(nonNegative(region.UsableFraction), 1)
+		capacity := regionCapacity{name: region.Name, usable: usable > 0, capacity: nonNegative(region.Capacity) * usable}
+		capacity.spare = capacity.capacity - nonNegative(region.OtherTraffic)
+		capacity.headroom, capacity.inflowLeft = capacity.capacity*c.cfg.MaxUtilization-nonNegative(region.OtherTraffic), capacity.capacity*c.cfg.MaxInflowFraction
+		if region.Load > 1 { // its figure is too great, or others fill it
+			capacity.headroom, capacity.inflowLeft = 0, 0
 		}
-		of[r.Name] = p
+		byName[region.Name] = capacity
 	}
-	return slices.SortedFunc(maps.Values(of), func(a, b regionCapacity) int { return cmp.Compare(a.name, b.name) })
+	return slices.SortedFunc(maps.Values(byName), func(x, y regionCapacity) int { return cmp.Compare(x.name, y.name) })
 }
 
 // want says what a contract has and what it sees.
-func (st *Controller) newPlacement(now time.Duration, slot int64, s State, c *Contract, places []regionCapacity, demand map[string]float64) *placement {
-	t := st.contracts[c.Name]
-	t.closeWindow(&st.cfg, max(slot-st.mergeLag(), 0))
-	w := &placement{contract: c, ratePerThousandth: nonNegative(demand[c.Name]) / thousandths, maySteer: true, isDue: true, isBurning: t.isBurning(),
-		current: make([]int, len(places)), regionViews: make([]regionView, len(places)), allowed: make([]bool, len(places))}
-	a, steered := s.Allocation(c.Name)
-	weights := make([]float64, len(places))
-	for i, p := range places {
-		w.allowed[i] = len(c.Zones) == 0 || slices.Contains(c.Zones, p.name)
-		if w.allowed[i] {
-			weights[i] = p.capacity
-			w.regionViews[i] = st.viewRegion(t, p.name, slot)
-			w.regionViews[i].breachConfirmed = st.isBreachConfirmed(now, t, p.name, w.regionViews[i].verdict)
+func (c *Controller) newPlacement(now time.Duration, interval int64, state State, contract *Contract, regions []regionCapacity, demand map[string]float64) *placement {
+	tracked := c.contracts[contract.Name]
+	tracked.closeWindow(&c.cfg, max(interval-c.mergeLag(), 0))
+	p := &placement{contract: contract, ratePerThousandth: nonNegative(demand[contract.Name]) / thousandths, maySteer: true, isDue: true, isBurning: tracked.isBurning(),
+		current: make([]int, len(regions)), regionViews: make([]regionView, len(regions)), allowed: make([]bool, len(regions))}
+	allocation, steered := state.Allocation(contract.Name)
+	weights := make([]float64, len(regions))
+	for i, region := range regions {
+		p.allowed[i] = len(contract.Zones) == 0 || slices.Contains(contract.Zones, region.name)
+		if p.allowed[i] {
+			weights[i] = region.capacity
+			p.regionViews[i] = c.viewRegion(tracked, region.name, interval)
+			p.regionViews[i].breachConfirmed = c.isBreachConfirmed(now, tracked, region.name, p.regionViews[i].verdict)
 		}
-		w.current[i], _ = toThousandths(a.Shares[p.name])
+		p.current[i], _ = toThousandths(allocation.Shares[region.name])
 	}
 	if !steered {
-		w.current = apportion(thousandths, st.initialWeights(t, slot, places, weights))
-		return w
-	}
-	ms := now.Milliseconds()
-	w.lastUnmetReason = a.UnmetReason
-	w.maySteer = a.PreviouslySteeredAt == 0 || ms >= a.PreviouslySteeredAt+minSteerIntervalMs
-	w.isDue = ms >= a.SteeredAt+st.cfg.MoveInterval.Milliseconds()
-	return w
+		p.current = apportion(thousandths, c.initialWeights(tracked, interval, regions, weights))
+		return p
+	}
+	nowMs := now.Milliseconds()
+	p.lastUnmetReason = allocation.UnmetReason
+	p.maySteer = allocation.PreviouslySteeredAt == 0 || nowMs >= allocation.PreviouslySteeredAt+minSteerIntervalMs
+	p.isDue = nowMs >= allocation.SteeredAt+c.cfg.MoveInterval.Milliseconds()
+	return p
 }
 
 // drawn are the weights by which a contract that was never steered is spread: as it was
 // measured or, where that is too little, by what the regions bear, as the module draws
 // evenly among the servers that it may use.
-func (st *Controller) initialWeights(t *contractState, slot int64, places []regionCapacity, bears []float64) []float64 {
-	measured, sum := make([]float64, len(places)), 0.0
-	for r, p := range places {
-		if bears[r] > 0 {
-			measured[r], _, _ = t.regions[p.name].sum(st.firstEvidenceInterval(slot))
+func (c *Controller) initialWeights(tracked *contractState, interval int64, regions []regionCapacity, capacities []float64) []float64 {
+	measured, sum := make([]float64, len(regions)), 0.0
+	for r, region := range regions {
+		if capacities[r] > 0 {
+			measured[r], _, _ = tracked.regions[region.name].sum(c.firstEvidenceInterval(interval))
 			sum += measured[r]
 		}
 	}
-	if sum < st.cfg.MinSamples {
-		return bears
+	if sum < c.cfg.MinSamples {
+		return capacities
 	}
 	return measured
 }
 
 // ripe tells whether a region has broken a promise for longer than the patience.
-func (st *Controller) isBreachConfirmed(now time.Duration, t *contractState, region string, v verdict) bool {
-	if v != breaches {
-		delete(t.breachedSince, region)
+func (c *Controller) isBreachConfirmed(now time.Duration, tracked *contractState, region string, result verdict) bool {
+	if result != breaches {
+		delete(tracked.breachedSince, region)
 		return false
 	}
-	if t.breachedSince == nil {
-		t.breachedSince = map[string]time.Duration{}
+	if tracked.breachedSince == nil {
+		tracked.breachedSince = map[string]time.Duration{}
 	}
-	since, ok := t.breachedSince[region]
+	since, ok := tracked.breachedSince[region]
 	if !ok {
 		since = now
-		t.breachedSince[region] = now
+		tracked.breachedSince[region] = now
 	}
-	return now-since >= st.cfg.MinBreachInterval || st.DisabledGuards.Hysteresis
+	return now-since >= c.cfg.MinBreachInterval || c.DisabledGuards.Hysteresis
 }
 
 const (
@@ -193,45 +195,45 @@
 )
 
 // outcome is what the record is to hold of a contract, and whether that is news.
-func (st *Controller) proposedAllocation(now time.Duration, s State, w *placement, places []regionCapacity) (Allocation, bool) {
-	t := st.contracts[w.contract.Name]
-	old, _ := s.Allocation(w.contract.Name)
-	over, moved, shares := 0, 0, make(map[string]float64, len(places))
-	for r, p := range places {
-		k := w.next[r] + w.overflow[r]
-		over += w.overflow[r]
-		if moved += max(k-w.current[r], 0); k > 0 {
-			shares[p.name] = float64(k) / thousandths
+func (c *Controller) proposedAllocation(now time.Duration, state State, p *placement, regions []regionCapacity) (Allocation, bool) {
+	tracked := c.contracts[p.contract.Name]
+	previous, _ := state.Allocation(p.contract.Name)
+	overflow, moved, shares := 0, 0, make(map[string]float64, len(regions))
+	for r, region := range regions {
+		share := p.next[r] + p.overflow[r]
+		overflow += p.overflow[r]
+		if moved += max(share-p.current[r], 0); share > 0 {
+			shares[region.name] = float64(share) / thousandths
 		}
 	}
-	a := Allocation{Contract: w.contract.Name, Shares: shares, Overflow: float64(over) / thousandths, UnmetReason: st.currentUnmetReason(now, t, w)}
-	was, _ := toThousandths(old.Overflow)
-	news := moved >= minMoveThousandths || (a.UnmetReason == "") != (old.UnmetReason == "") || max(over-was, was-over) >= minOverflowThousandths || over == 0 && was > 0
+	allocation := Allocation{Contract: p.contract.Name, Shares: shares, Overflow: float64(overflow) / thousandths, UnmetReason: c.currentUnmetReason(now, tracked, p)}
+	previousOverflow, _ := toThousandths(previous.Overflow)
+	isNews := moved >= minMoveThousandths || (allocation.UnmetReason == "") != (previous.UnmetReason == "") || max(overflow-previousOverflow, previousOverflow-overflow) >= minOverflowThousandths || overflow == 0 && previousOverflow > 0
 	sum := 0
-	for r := range places {
-		sum += w.next[r] + w.overflow[r]
+	for r := range regions {
+		sum += p.next[r] + p.overflow[r]
 	}
-	return a, news && w.maySteer && sum == thousandths
+	return allocation, isNews && p.maySteer && sum == thousandths
 }
 
 // unkept says why a contract can't be kept: what is so for longer than the patience. It
 // is taken back when its budget is no longer spent.
-func (st *Controller) currentUnmetReason(now time.Duration, t *contractState, w *placement) string {
-	if w.unmetReason == "" && !w.isDue { // not asked to move, so nothing is known of it
-		return w.lastUnmetReason
-	}
-	if w.unmetReason == "" {
-		t.unmetSince = 0
-		if w.isBurning {
-			return w.lastUnmetReason
+func (c *Controller) currentUnmetReason(now time.Duration, tracked *contractState, p *placement) string {
+	if p.unmetReason == "" && !p.isDue { // not asked to move, so nothing is known of it
+		return p.lastUnmetReason
+	}
+	if p.unmetReason == "" {
+		tracked.unmetSince = 0
+		if p.isBurning {
+			return p.lastUnmetReason
 		}
 		return ""
 	}
-	if t.unmetSince == 0 {
-		t.unmetSince = now
+	if tracked.unmetSince == 0 {
+		tracked.unmetSince = now
 	}
-	if w.lastUnmetReason == "" && now-t.unmetSince < st.cfg.MinBreachInterval {
+	if p.lastUnmetReason == "" && now-tracked.unmetSince < c.cfg.MinBreachInterval {
 		return ""
 	}
-	return w.unmetReason
+	return p.unmetReason
 }
--- a/internal/fleet/slo/tally.go
+++ b/internal/fleet/slo/tally.go
@@ -31,12 +31,12 @@
 const maxMeasurementsLimit = 4096
 
 // newer tells whether a sample replaces another of its member and part.
-func (s *Sample) isNewerThan(o *Sample) bool {
-	return cmp.Or(cmp.Compare(s.Incarnation, o.Incarnation), cmp.Compare(s.Seq, o.Seq)) > 0
+func (s *Sample) isNewerThan(other *Sample) bool {
+	return cmp.Or(cmp.Compare(s.Incarnation, other.Incarnation), cmp.Compare(s.Seq, other.Seq)) > 0
 }
 
 // sound says what makes a sample one that can't be true: it comes from outside.
-func (s *Sample) validate(most int) error {
+func (s *Sample) validate(maxMeasurements int) error {
 	switch {
 	case !isValidName(s.Member, 64) || !isValidName(s.Zone, 64):
 		return fmt.Errorf("sample of member %.64q: member and from are names of 1 to 64 bytes", s.Member)
@@ -44,24 +44,24 @@
 		return fmt.Errorf("sample of member %q: %d regions, at most %d", s.Member, len(s.Regions), maxZones)
 	case s.Dropped < 0 || s.Dropped > 1e6:
 		return fmt.Errorf("sample of member %q: %d cells dropped", s.Member, s.Dropped)
-	case len(s.Measurements) > most:
-		return fmt.Errorf("sample of member %q: %d cells, at most %d", s.Member, len(s.Measurements), most)
+	case len(s.Measurements) > maxMeasurements:
+		return fmt.Errorf("sample of member %q: %d cells, at most %d", s.Member, len(s.Measurements), maxMeasurements)
 	}
-	for i, r := range s.Regions {
-		if !isValidName(r, 64) || slices.Contains(s.Regions[:i], r) {
-			return fmt.Errorf("sample of member %q: region %.64q: names of 1 to 64 bytes, each once", s.Member, r)
+	for i, region := range s.Regions {
+		if !isValidName(region, 64) || slices.Contains(s.Regions[:i], region) {
+			return fmt.Errorf("sample of member %q: region %.64q: names of 1 to 64 bytes, each once", s.Member, region)
 		}
 	}
-	told := make(map[contractRegion]bool, len(s.Measurements))
-	for _, c := range s.Measurements {
-		if c.RegionIndex < 0 || c.RegionIndex >= len(s.Regions) {
-			return fmt.Errorf("sample of member %q: contract %.64q: region %d is none of its own", s.Member, c.Contract, c.RegionIndex)
+	seen := make(map[contractRegion]bool, len(s.Measurements))
+	for _, measurement := range s.Measurements {
+		if measurement.RegionIndex < 0 || measurement.RegionIndex >= len(s.Regions) {
+			return fmt.Errorf("sample of member %q: contract %.64q: region %d is none of its own", s.Member, measurement.Contract, measurement.RegionIndex)
 		}
-		p := contractRegion{c.Contract, s.Regions[c.RegionIndex]}
-		if told[p] || !isValidName(c.Contract, 64) || !c.Histogram.isPlausible() {
-			return fmt.Errorf("sample of member %q: contract %.64q, region %q: no histogram, or a second one", s.Member, c.Contract, p.region)
+		pair := contractRegion{measurement.Contract, s.Regions[measurement.RegionIndex]}
+		if seen[pair] || !isValidName(measurement.Contract, 64) || !measurement.Histogram.isPlausible() {
+			return fmt.Errorf("sample of member %q: contract %.64q, region %q: no histogram, or a second one", s.Member, measurement.Contract, pair.region)
 		}
-		told[p] = true
+		seen[pair] = true
 	}
 	return nil
 }
@@ -82,84 +82,84 @@
 }
 
 // NewTally returns an empty tally of a member in a zone, of a process started at boot.
-func NewRecorder(cfg Config, member, from string, boot int64) *Recorder {
-	return &Recorder{cfg: cfg, member: member, zone: from, incarnation: boot, histograms: map[contractRegion]*hdr.PackedHistogram{}}
+func NewRecorder(cfg Config, member, zone string, incarnation int64) *Recorder {
+	return &Recorder{cfg: cfg, member: member, zone: zone, incarnation: incarnation, histograms: map[contractRegion]*hdr.PackedHistogram{}}
 }
 
 // Know takes the contracts that count from now on.
-func (t *Recorder) SetContracts(s State) {
-	t.priorities = make(map[string]int, len(s.Contracts))
-	for _, c := range s.Contracts {
-		t.priorities[c.Name] = c.Priority
+func (r *Recorder) SetContracts(state State) {
+	r.priorities = make(map[string]int, len(state.Contracts))
+	for _, contract := range state.Contracts {
+		r.priorities[contract.Name] = contract.Priority
 	}
 }
 
 // Record takes a response time; a request that got no answer took longest. It returns the
 // sample of the part before, once that is over.
-func (t *Recorder) Record(now time.Duration, contract, region string, took time.Duration) *Sample {
-	done := t.Rotate(now)
-	if _, ok := t.priorities[contract]; !ok || !isValidName(region, 64) {
-		return done
+func (r *Recorder) Record(now time.Duration, contract, region string, responseTime time.Duration) *Sample {
+	finished := r.Rotate(now)
+	if _, ok := r.priorities[contract]; !ok || !isValidName(region, 64) {
+		return finished
 	}
-	p := contractRegion{contract, region}
-	h := t.histograms[p]
-	if h == nil {
+	pair := contractRegion{contract, region}
+	histogram := r.histograms[pair]
+	if histogram == nil {
 		// Twice of what is told: what goes first is known at the end only.
-		if len(t.histograms) >= 2*t.cfg.MaxMeasurements {
-			t.dropped++
-			return done
+		if len(r.histograms) >= 2*r.cfg.MaxMeasurements {
+			r.dropped++
+			return finished
 		}
-		h = newPackedHistogram()
-		t.histograms[p] = h
+		histogram = newPackedHistogram()
+		r.histograms[pair] = histogram
 	}
-	ms := min(max(int64((took+time.Millisecond-1)/time.Millisecond), lowestMs), highestMs)
-	if h.TotalCount() < maxBucketCount {
-		_ = h.RecordValue(ms) // always within the buckets
+	ms := min(max(int64((responseTime+time.Millisecond-1)/time.Millisecond), lowestMs), highestMs)
+	if histogram.TotalCount() < maxBucketCount {
+		_ = histogram.RecordValue(ms) // always within the buckets
 	}
-	return done
+	return finished
 }
 
 // Turn returns the sample of the part that was under way, if it is over and holds anything.
-func (t *Recorder) Rotate(now time.Duration) *Sample {
-	slot := t.cfg.interval(now)
-	if slot <= t.interval { // a clock that went back adds to what is under way
+func (r *Recorder) Rotate(now time.Duration) *Sample {
+	interval := r.cfg.interval(now)
+	if interval <= r.interval { // a clock that went back adds to what is under way
 		return nil
 	}
-	s := t.takeSample()
-	t.interval, t.dropped = slot, 0
-	clear(t.histograms)
-	return s
+	sample := r.takeSample()
+	r.interval, r.dropped = interval, 0
+	clear(r.histograms)
+	return sample
 }
 
 // sample tells what is there. Where that is too much, the pairs of the least priority go
 // first, and of these the least used.
-func (t *Recorder) takeSample() *Sample {
-	if len(t.histograms) == 0 {
+func (r *Recorder) takeSample() *Sample {
+	if len(r.histograms) == 0 {
 		return nil
 	}
-	pairs := make([]contractRegion, 0, len(t.histograms))
-	for p := range t.histograms {
-		pairs = append(pairs, p)
+	pairs := make([]contractRegion, 0, len(r.histograms))
+	for pair := range r.histograms {
+		pairs = append(pairs, pair)
 	}
-	slices.SortFunc(pairs, func(a, b contractRegion) int {
-		return cmp.Or(cmp.Compare(t.priorities[a.contract], t.priorities[b.contract]),
-			cmp.Compare(t.histograms[b].TotalCount(), t.histograms[a].TotalCount()),
-			cmp.Compare(a.contract, b.contract), cmp.Compare(a.region, b.region))
+	slices.SortFunc(pairs, func(x, y contractRegion) int {
+		return cmp.Or(cmp.Compare(r.priorities[x.contract], r.priorities[y.contract]),
+			cmp.Compare(r.histograms[y].TotalCount(), r.histograms[x].TotalCount()),
+			cmp.Compare(x.contract, y.contract), cmp.Compare(x.region, y.region))
 	})
-	t.seq++
-	s := &Sample{Member: t.member, Zone: t.zone, Incarnation: t.incarnation, Seq: t.seq, Interval: t.interval, Dropped: t.dropped}
-	index := map[string]int{}
-	for _, p := range pairs {
-		i, ok := index[p.region]
-		if !ok && len(s.Regions) < maxZones {
-			i, ok = len(s.Regions), true
-			index[p.region], s.Regions = i, append(s.Regions, p.region)
+	r.seq++
+	sample := &Sample{Member: r.member, Zone: r.zone, Incarnation: r.incarnation, Seq: r.seq, Interval: r.interval, Dropped: r.dropped}
+	regionIndex := map[string]int{}
+	for _, pair := range pairs {
+		index, ok := regionIndex[pair.region]
+		if !ok && len(sample.Regions) < maxZones {
+			index, ok = len(sample.Regions), true
+			regionIndex[pair.region], sample.Regions = index, append(sample.Regions, pair.region)
 		}
-		if len(s.Measurements) >= t.cfg.MaxMeasurements || !ok {
-			s.Dropped++
+		if len(sample.Measurements) >= r.cfg.MaxMeasurements || !ok {
+			sample.Dropped++
 			continue
 		}
-		s.Measurements = append(s.Measurements, Measurement{Contract: p.contract, RegionIndex: i, Histogram: encodeHistogram(t.histograms[p])})
+		sample.Measurements = append(sample.Measurements, Measurement{Contract: pair.contract, RegionIndex: index, Histogram: encodeHistogram(r.histograms[pair])})
 	}
-	return s
+	return sample
 }
--- a/internal/fleet/slo/types.go
+++ b/internal/fleet/slo/types.go
@@ -41,37 +41,37 @@
 	thousandths  = 1000
 )
 
-func isValidName(s string, most int) bool { return s != "" && len(s) <= most }
+func isValidName(name string, maxBytes int) bool { return name != "" && len(name) <= maxBytes }
 
 // check names the field that makes a contract one that can't be held to.
 func (c *Contract) validate() error {
-	between := func(x, least, most float64) bool { return x >= least && x <= most }
-	bad := ""
+	between := func(value, min, max float64) bool { return value >= min && value <= max }
+	problem := ""
 	switch {
 	case !isValidName(c.Name, 64):
-		bad = "name: 1 to 64 bytes"
+		problem = "name: 1 to 64 bytes"
 	case !isValidName(c.Holder, 256):
-		bad = "holder: 1 to 256 bytes"
+		problem = "holder: 1 to 256 bytes"
 	case !between(c.Quantile, 0.5, 0.9999):
-		bad = "quantile: 0.5 to 0.9999"
+		problem = "quantile: 0.5 to 0.9999"
 	case c.Objective < time.Millisecond || c.Objective > maxResponseTime || c.Objective%time.Millisecond != 0:
-		bad = fmt.Sprint("bound: whole milliseconds up to ", maxResponseTime)
+		problem = fmt.Sprint("bound: whole milliseconds up to ", maxResponseTime)
 	case c.Window < 5*time.Second || c.Window > 10*time.Minute:
-		bad = "window: 5s to 10m"
+		problem = "window: 5s to 10m"
 	case !between(c.Target, 0.5, 0.9999):
-		bad = "share: 0.5 to 0.9999, as a promise without an exception is broken by the first"
+		problem = "share: 0.5 to 0.9999, as a promise without an exception is broken by the first"
 	case c.Priority < 0 || c.Priority > 1000:
-		bad = "priority: 0 to 1000"
+		problem = "priority: 0 to 1000"
 	case len(c.Zones) > maxZones:
-		bad = fmt.Sprintf("zones: %d, at most %d", len(c.Zones), maxZones)
+		problem = fmt.Sprintf("zones: %d, at most %d", len(c.Zones), maxZones)
 	}
-	for i, z := range c.Zones {
-		if !isValidName(z, 64) || i > 0 && c.Zones[i-1] >= z {
-			bad = fmt.Sprintf("zones: %.64q: names of 1 to 64 bytes, sorted, each once", z)
+	for i, zone := range c.Zones {
+		if !isValidName(zone, 64) || i > 0 && c.Zones[i-1] >= zone {
+			problem = fmt.Sprintf("zones: %.64q: names of 1 to 64 bytes, sorted, each once", zone)
 		}
 	}
-	if bad != "" {
-		return fmt.Errorf("contract %.64q: %s", c.Name, bad)
+	if problem != "" {
+		return fmt.Errorf("contract %.64q: %s", c.Name, problem)
 	}
 	return nil
 }
--- a/internal/fleet/slo/verdict.go
+++ b/internal/fleet/slo/verdict.go
@@ -18,28 +18,28 @@
 // wilson bounds the true share of which good of all is a sample, z standard deviations to
 // both sides (Wilson, 1927). Unlike the plain normal bound it holds for shares near 1, where
 // quantiles lie, and for few samples.
-func wilsonInterval(good, all, z float64) (least, most float64) {
-	if all <= 0 {
+func wilsonInterval(good, total, z float64) (lower, upper float64) {
+	if total <= 0 {
 		return 0, 1
 	}
-	p, w := good/all, z*z/all
-	center, half := p+w/2, z*math.Sqrt(p*(1-p)/all+w/(4*all))
-	return (center - half) / (1 + w), (center + half) / (1 + w)
+	share, correction := good/total, z*z/total
+	center, half := share+correction/2, z*math.Sqrt(share*(1-share)/total+correction/(4*total))
+	return (center - half) / (1 + correction), (center + half) / (1 + correction)
 }
 
 // judge tells what a sample says of the promise that quantile of all is within the bound.
-func evaluateObjective(c *Config, g Guards, all, over, quantile float64, members int) verdict {
-	z := c.ZScore
-	if g.Confidence {
-		z, members = 0, minMembers
+func evaluateObjective(cfg *Config, disabled Guards, total, missed, quantile float64, members int) verdict {
+	zScore := cfg.ZScore
+	if disabled.Confidence {
+		zScore, members = 0, minMembers
 	}
-	least, most := wilsonInterval(all-over, all, z)
+	lower, upper := wilsonInterval(total-missed, total, zScore)
 	switch {
-	case members < minMembers || all <= 0:
+	case members < minMembers || total <= 0:
 		return unknown
-	case least >= quantile:
+	case lower >= quantile:
 		return meets
-	case most < quantile:
+	case upper < quantile:
 		return breaches
 	}
 	return unknown
@@ -55,21 +55,21 @@
 
 // look judges a region for a contract by the contract's own samples or, where these are no
 // verdict, by those of all contracts there: the same feed servers serve them.
-func (st *Controller) viewRegion(t *contractState, region string, slot int64) regionView {
-	c, k := &st.cfg, &t.contract
-	tight := 1 - (1-k.Quantile)*(1-c.BudgetMargin)
-	if st.DisabledGuards.Hysteresis {
-		tight = k.Quantile
+func (c *Controller) viewRegion(tracked *contractState, region string, interval int64) regionView {
+	cfg, contract := &c.cfg, &tracked.contract
+	targetWithMargin := 1 - (1-contract.Quantile)*(1-cfg.BudgetMargin)
+	if c.DisabledGuards.Hysteresis {
+		targetWithMargin = contract.Quantile
 	}
-	all, over, members := t.regions[region].sum(st.firstEvidenceInterval(slot))
-	pooled, missed, others := st.pooledCount(region, k, slot)
-	if evaluateObjective(c, st.DisabledGuards, all, over, k.Quantile, members) == unknown && !(st.DisabledGuards.Confidence && all > 0) {
-		all, over, members = pooled, missed, others
+	total, missed, members := tracked.regions[region].sum(c.firstEvidenceInterval(interval))
+	pooledTotal, pooledMissed, pooledMembers := c.pooledCount(region, contract, interval)
+	if evaluateObjective(cfg, c.DisabledGuards, total, missed, contract.Quantile, members) == unknown && !(c.DisabledGuards.Confidence && total > 0) {
+		total, missed, members = pooledTotal, pooledMissed, pooledMembers
 	}
-	v := regionView{verdict: evaluateObjective(c, st.DisabledGuards, all, over, k.Quantile, members)}
-	if all > 0 {
-		v.score = 1 - over/all
+	view := regionView{verdict: evaluateObjective(cfg, c.DisabledGuards, total, missed, contract.Quantile, members)}
+	if total > 0 {
+		view.score = 1 - missed/total
 	}
-	v.hasMargin = v.verdict == meets && evaluateObjective(c, st.DisabledGuards, all, over, tight, members) == meets
-	return v
+	view.hasMargin = view.verdict == meets && evaluateObjective(cfg, c.DisabledGuards, total, missed, targetWithMargin, members) == meets
+	return view
 }
--- a/internal/fleet/slo/window.go
+++ b/internal/fleet/slo/window.go
@@ -16,37 +16,37 @@
 // ring holds the last parts; what is older falls out as new ones come.
 type intervalRing []responseCount
 
-func (r intervalRing) add(n responseCount) {
-	at := &r[n.interval%int64(len(r))]
+func (r intervalRing) add(added responseCount) {
+	slot := &r[added.interval%int64(len(r))]
 	switch {
-	case at.interval > n.interval:
+	case slot.interval > added.interval:
 		return
-	case at.interval < n.interval:
-		*at = responseCount{interval: n.interval}
+	case slot.interval < added.interval:
+		*slot = responseCount{interval: added.interval}
 	}
-	at.total, at.missed, at.members = at.total+n.total, at.missed+n.missed, max(at.members, n.members)
+	slot.total, slot.missed, slot.members = slot.total+added.total, slot.missed+added.missed, max(slot.members, added.members)
 }
 
-func (r intervalRing) sum(since int64) (all, over float64, members int) {
-	for _, n := range r {
-		if n.interval >= since && n.total > 0 {
-			all, over, members = all+n.total, over+n.missed, max(members, n.members)
+func (r intervalRing) sum(since int64) (total, missed float64, members int) {
+	for _, entry := range r {
+		if entry.interval >= since && entry.total > 0 {
+			total, missed, members = total+entry.total, missed+entry.missed, max(members, entry.members)
 		}
 	}
-	return all, over, members
+	return total, missed, members
 }
 
 // since is the first part that is evidence at a slot.
-func (st *Controller) firstEvidenceInterval(slot int64) int64 {
-	if st.DisabledGuards.EvidenceExpiry {
+func (c *Controller) firstEvidenceInterval(interval int64) int64 {
+	if c.DisabledGuards.EvidenceExpiry {
 		return 0
 	}
-	return slot - st.mergeLag() - int64(st.cfg.EvidenceIntervals) + 1
+	return interval - c.mergeLag() - int64(c.cfg.EvidenceIntervals) + 1
 }
 
 // lag is how many parts are over and not yet merged.
-func (st *Controller) mergeLag() int64 {
-	return 1 + int64((st.cfg.LateSampleTimeout+st.cfg.SampleInterval-1)/st.cfg.SampleInterval)
+func (c *Controller) mergeLag() int64 {
+	return 1 + int64((c.cfg.LateSampleTimeout+c.cfg.SampleInterval-1)/c.cfg.SampleInterval)
 }
 
 // kind is what all contracts of a region measure alike.
@@ -68,87 +68,87 @@
 }
 
 // pooled is what all contracts together measured in a region, against one's bound.
-func (st *Controller) pooledCount(region string, k *Contract, slot int64) (all, over float64, members int) {
-	b := pooledKey{regionKind{region, k.ForMessages}, k.Objective.Milliseconds()}
-	n, ok := st.pooledCounts[b]
+func (c *Controller) pooledCount(region string, contract *Contract, interval int64) (total, missed float64, members int) {
+	key := pooledKey{regionKind{region, contract.ForMessages}, contract.Objective.Milliseconds()}
+	sum, ok := c.pooledCounts[key]
 	if !ok {
-		for _, p := range st.pools[b.regionKind] {
-			if p.hist == nil || p.interval < st.firstEvidenceInterval(slot) {
+		for _, pool := range c.pools[key.regionKind] {
+			if pool.hist == nil || pool.interval < c.firstEvidenceInterval(interval) {
 				continue
 			}
-			n.members = max(n.members, p.members)
-			p.hist.ForEachBucket(func(ms, times int64) bool {
-				if n.total += float64(times); isAbove(ms, b.objectiveMs) {
-					n.missed += float64(times)
+			sum.members = max(sum.members, pool.members)
+			pool.hist.ForEachBucket(func(ms, responses int64) bool {
+				if sum.total += float64(responses); isAbove(ms, key.objectiveMs) {
+					sum.missed += float64(responses)
 				}
 				return true
 			})
 		}
-		st.pooledCounts[b] = n
+		c.pooledCounts[key] = sum
 	}
-	return n.total, n.missed, n.members
+	return sum.total, sum.missed, sum.members
 }
 
 // Take takes what was seen. Members that do not lead take it too, so that one that begins
 // to lead knows as much as the last one did.
-func (st *Controller) Observe(s State, seen []Observation) {
-	if s.Version != st.contractsVersion || st.contracts == nil {
-		st.syncContracts(s)
+func (c *Controller) Observe(state State, observations []Observation) {
+	if state.Version != c.contractsVersion || c.contracts == nil {
+		c.syncContracts(state)
 	}
-	clear(st.pooledCounts)
-	before := st.lastObserved
-	for _, w := range seen {
-		t := st.contracts[w.Contract]
-		if t == nil || w.Interval <= before {
+	clear(c.pooledCounts)
+	previous := c.lastObserved
+	for _, observation := range observations {
+		tracked := c.contracts[observation.Contract]
+		if tracked == nil || observation.Interval <= previous {
 			continue
 		}
-		st.lastObserved = max(st.lastObserved, w.Interval)
-		t.closeWindow(&st.cfg, w.Interval)
-		n := responseCount{w.Interval, float64(w.Histogram.Count()), float64(w.Histogram.CountAbove(t.contract.Objective)), w.Members}
-		t.count, t.missed = t.count+n.total, t.missed+n.missed
-		if t.regions[w.Region] == nil {
-			if len(t.regions) >= maxZones {
+		c.lastObserved = max(c.lastObserved, observation.Interval)
+		tracked.closeWindow(&c.cfg, observation.Interval)
+		added := responseCount{observation.Interval, float64(observation.Histogram.Count()), float64(observation.Histogram.CountAbove(tracked.contract.Objective)), observation.Members}
+		tracked.count, tracked.missed = tracked.count+added.total, tracked.missed+added.missed
+		if tracked.regions[observation.Region] == nil {
+			if len(tracked.regions) >= maxZones {
 				continue
 			}
-			t.regions[w.Region] = make(intervalRing, st.cfg.EvidenceIntervals)
+			tracked.regions[observation.Region] = make(intervalRing, c.cfg.EvidenceIntervals)
 		}
-		t.regions[w.Region].add(n)
-		st.addToPool(regionKind{w.Region, t.contract.ForMessages}, w)
+		tracked.regions[observation.Region].add(added)
+		c.addToPool(regionKind{observation.Region, tracked.contract.ForMessages}, observation)
 	}
 }
 
-func (st *Controller) addToPool(k regionKind, w Observation) {
-	parts := st.pools[k]
-	if parts == nil {
-		if len(st.pools) >= 2*maxZones {
+func (c *Controller) addToPool(kind regionKind, observation Observation) {
+	ring := c.pools[kind]
+	if ring == nil {
+		if len(c.pools) >= 2*maxZones {
 			return
 		}
-		parts = make([]pooledHistogram, st.cfg.EvidenceIntervals)
-		st.pools[k] = parts
+		ring = make([]pooledHistogram, c.cfg.EvidenceIntervals)
+		c.pools[kind] = ring
 	}
-	p := &parts[w.Interval%int64(len(parts))]
-	if p.interval > w.Interval {
+	pool := &ring[observation.Interval%int64(len(ring))]
+	if pool.interval > observation.Interval {
 		return
 	}
-	if p.interval < w.Interval {
-		*p = pooledHistogram{interval: w.Interval, hist: newPackedHistogram()}
+	if pool.interval < observation.Interval {
+		*pool = pooledHistogram{interval: observation.Interval, hist: newPackedHistogram()}
 	}
-	p.members = max(p.members, w.Members)
-	_ = w.Histogram.addTo(p.hist, w.Histogram.Count())
+	pool.members = max(pool.members, observation.Members)
+	_ = observation.Histogram.addTo(pool.hist, observation.Histogram.Count())
 }
 
 // follow brings the tracks in line with the record's contracts: who has a new promise
 // starts anew.
-func (st *Controller) syncContracts(s State) {
-	old := st.contracts
-	st.contracts, st.contractsVersion = make(map[string]*contractState, len(s.Contracts)), s.Version
-	for _, c := range s.Contracts {
-		t := old[c.Name]
-		if t == nil || !measuresAlike(&t.contract, &c) {
-			t = &contractState{contract: c, regions: map[string]intervalRing{}}
+func (c *Controller) syncContracts(state State) {
+	previous := c.contracts
+	c.contracts, c.contractsVersion = make(map[string]*contractState, len(state.Contracts)), state.Version
+	for _, contract := range state.Contracts {
+		tracked := previous[contract.Name]
+		if tracked == nil || !measuresAlike(&tracked.contract, &contract) {
+			tracked = &contractState{contract: contract, regions: map[string]intervalRing{}}
 		}
-		t.contract = c
-		st.contracts[c.Name] = t
+		tracked.contract = contract
+		c.contracts[contract.Name] = tracked
 	}
 }
 
--- a/internal/fleet/slo/world_test.go
+++ b/internal/fleet/slo/world_test.go
@@ -30,147 +30,147 @@
 }
 
 func newSimulation(t testing.TB, contracts, regions, choices int, fill float64) *simulation {
-	w := &simulation{t: t, cfg: DefaultConfig(), now: 1_000_000 * time.Minute, meanMs: map[string]float64{}, demand: map[string]float64{}, rng: rand.New(rand.NewPCG(7, 7))}
-	w.controller = NewController(w.cfg)
+	sim := &simulation{t: t, cfg: DefaultConfig(), now: 1_000_000 * time.Minute, meanMs: map[string]float64{}, demand: map[string]float64{}, rng: rand.New(rand.NewPCG(7, 7))}
+	sim.controller = NewController(sim.cfg)
 	for r := range regions {
-		w.regions = append(w.regions, Region{Name: fmt.Sprintf("r%02d", r), UsableFraction: 1, Capacity: 1000, Load: -1})
-		w.meanMs[w.regions[r].Name] = 10
+		sim.regions = append(sim.regions, Region{Name: fmt.Sprintf("r%02d", r), UsableFraction: 1, Capacity: 1000, Load: -1})
+		sim.meanMs[sim.regions[r].Name] = 10
 	}
 	for i := range contracts {
 		c := Contract{Name: fmt.Sprintf("c%04d", i), Holder: "a", Quantile: 0.95, Objective: 100 * time.Millisecond, Window: 10 * time.Second, Target: 0.9, Priority: i % 3}
 		for k := range regions {
 			if (k-i%regions+regions)%regions < choices {
-				c.Zones = append(c.Zones, w.regions[k].Name)
+				c.Zones = append(c.Zones, sim.regions[k].Name)
 			}
 		}
-		w.demand[c.Name] = fill * 1000 * float64(regions) / float64(contracts)
-		w.state.Contracts = append(w.state.Contracts, c)
+		sim.demand[c.Name] = fill * 1000 * float64(regions) / float64(contracts)
+		sim.state.Contracts = append(sim.state.Contracts, c)
 	}
-	return w
+	return sim
 }
 
-func (w *simulation) shares(c *Contract) map[string]float64 {
-	if a, ok := w.state.Allocation(c.Name); ok {
-		return a.Shares
+func (s *simulation) shares(contract *Contract) map[string]float64 {
+	if allocation, ok := s.state.Allocation(contract.Name); ok {
+		return allocation.Shares
 	}
-	m := map[string]float64{}
-	for _, z := range c.Zones {
-		m[z] = 1 / float64(len(c.Zones))
+	even := map[string]float64{}
+	for _, z := range contract.Zones {
+		even[z] = 1 / float64(len(contract.Zones))
 	}
-	return m
+	return even
 }
 
-func (w *simulation) load() map[string]float64 {
+func (s *simulation) load() map[string]float64 {
 	load := map[string]float64{}
-	for i := range w.state.Contracts {
-		c := &w.state.Contracts[i]
-		for z, x := range w.shares(c) {
-			load[z] += x * w.demand[c.Name]
+	for i := range s.state.Contracts {
+		contract := &s.state.Contracts[i]
+		for z, x := range s.shares(contract) {
+			load[z] += x * s.demand[contract.Name]
 		}
 	}
-	for _, r := range w.regions {
+	for _, r := range s.regions {
 		load[r.Name] /= r.Capacity
 	}
 	return load
 }
 
 // steer sends all contracts to some regions, as a leader before had it.
-func (w *simulation) steerAll(shares map[string]float64) {
-	for _, c := range w.state.Contracts {
-		w.state.Allocations = append(w.state.Allocations, Allocation{Contract: c.Name, Shares: shares, SteeredAt: 1})
+func (s *simulation) steerAll(shares map[string]float64) {
+	for _, c := range s.state.Contracts {
+		s.state.Allocations = append(s.state.Allocations, Allocation{Contract: c.Name, Shares: shares, SteeredAt: 1})
 	}
 }
 
 // total is the share of all set-ups that was moved from a minute on.
-func (w *simulation) movedFraction(from int) (sum float64) {
-	all := 0.0
-	for _, x := range w.demand {
-		all += x
+func (s *simulation) movedFraction(from int) (sum float64) {
+	total := 0.0
+	for _, moved := range s.demand {
+		total += moved
 	}
-	for _, x := range w.movedPerMinute[from:] {
-		sum += x / all
+	for _, moved := range s.movedPerMinute[from:] {
+		sum += moved / total
 	}
 	return sum
 }
 
 // run lets time pass, part by part; the evidence of a part comes with the next.
-func (w *simulation) run(long time.Duration) {
-	for end := w.now + long; w.now < end; w.now += w.cfg.SampleInterval {
-		load := w.load()
-		late := w.observations
-		w.observations = nil
-		for i := range w.state.Contracts {
-			c := &w.state.Contracts[i]
-			missed, n := 0.0, 0.0
-			shares := w.shares(c)
-			for _, r := range w.regions {
-				x := shares[r.Name] * w.demand[c.Name] * w.cfg.SampleInterval.Seconds()
-				all := int(x + w.rng.Float64())
-				miss := math.Exp(-100 / w.meanMs[r.Name] * max(1-load[r.Name], 0.001))
-				over := 0
-				for range all {
-					if w.rng.Float64() < miss {
-						over++
+func (s *simulation) run(duration time.Duration) {
+	for end := s.now + duration; s.now < end; s.now += s.cfg.SampleInterval {
+		load := s.load()
+		lastObservations := s.observations
+		s.observations = nil
+		for i := range s.state.Contracts {
+			contract := &s.state.Contracts[i]
+			missed, total := 0.0, 0.0
+			shares := s.shares(contract)
+			for _, region := range s.regions {
+				expected := shares[region.Name] * s.demand[contract.Name] * s.cfg.SampleInterval.Seconds()
+				responses := int(expected + s.rng.Float64())
+				missRate := math.Exp(-100 / s.meanMs[region.Name] * max(1-load[region.Name], 0.001))
+				slow := 0
+				for range responses {
+					if s.rng.Float64() < missRate {
+						slow++
 					}
 				}
-				var h Histogram
-				if all > over {
-					h = binary.AppendUvarint(binary.AppendUvarint(h, 10), uint64(all-over))
+				var histogram Histogram
+				if responses > slow {
+					histogram = binary.AppendUvarint(binary.AppendUvarint(histogram, 10), uint64(responses-slow))
 				}
-				if over > 0 {
+				if slow > 0 {
 					ms := uint64(500)
-					if len(h) > 0 {
+					if len(histogram) > 0 {
 						ms -= 10
 					}
-					h = binary.AppendUvarint(binary.AppendUvarint(h, ms), uint64(over))
+					histogram = binary.AppendUvarint(binary.AppendUvarint(histogram, ms), uint64(slow))
 				}
-				missed, n = missed+x*miss, n+x
-				if len(h) > 0 {
-					w.observations = append(w.observations, Observation{"z", c.Name, r.Name, w.cfg.interval(w.now), 3, h})
+				missed, total = missed+expected*missRate, total+expected
+				if len(histogram) > 0 {
+					s.observations = append(s.observations, Observation{"z", contract.Name, region.Name, s.cfg.interval(s.now), 3, histogram})
 				}
 			}
-			w.windows[c.Priority]++
-			if missed <= 0.05*n {
-				w.keptWindows[c.Priority]++
+			s.windows[contract.Priority]++
+			if missed <= 0.05*total {
+				s.keptWindows[contract.Priority]++
 			}
 		}
-		w.step(late)
+		s.step(lastObservations)
 	}
 }
 
-func (w *simulation) step(seen []Observation) {
-	minute := int(w.now/time.Minute) - 1_000_000
-	for len(w.movedPerMinute) <= minute {
-		w.movedPerMinute = append(w.movedPerMinute, 0)
+func (s *simulation) step(observations []Observation) {
+	minute := int(s.now/time.Minute) - 1_000_000
+	for len(s.movedPerMinute) <= minute {
+		s.movedPerMinute = append(s.movedPerMinute, 0)
 	}
-	c, _, ok := w.controller.Evaluate(w.now, w.state, seen, w.regions, w.demand)
-	if !ok || w.frozen {
+	change, _, ok := s.controller.Evaluate(s.now, s.state, observations, s.regions, s.demand)
+	if !ok || s.frozen {
 		return
 	}
-	next, err := w.state.Apply(c, w.now.Milliseconds(), nil)
+	next, err := s.state.Apply(change, s.now.Milliseconds(), nil)
 	if err != nil {
-		w.t.Fatal(err)
+		s.t.Fatal(err)
 	}
-	for _, a := range c.Allocations {
-		k, _ := w.state.Contract(a.Contract)
-		for z, x := range w.shares(&k) {
-			w.movedPerMinute[minute] += max(x-a.Shares[z], 0) * w.demand[a.Contract]
+	for _, allocation := range change.Allocations {
+		contract, _ := s.state.Contract(allocation.Contract)
+		for z, x := range s.shares(&contract) {
+			s.movedPerMinute[minute] += max(x-allocation.Shares[z], 0) * s.demand[allocation.Contract]
 		}
 	}
-	w.state = next
-	for _, x := range w.load() {
-		w.maxLoad = max(w.maxLoad, x)
+	s.state = next
+	for _, x := range s.load() {
+		s.maxLoad = max(s.maxLoad, x)
 	}
 }
 
 // restless is the share of all set-ups that was moved in the busiest minute from one on.
-func (w *simulation) busiestMinute(from int) float64 {
-	all, most := 0.0, 0.0
-	for _, x := range w.demand {
-		all += x
+func (s *simulation) busiestMinute(from int) float64 {
+	total, busiest := 0.0, 0.0
+	for _, moved := range s.demand {
+		total += moved
 	}
-	for _, x := range w.movedPerMinute[from:] {
-		most = max(most, x)
+	for _, moved := range s.movedPerMinute[from:] {
+		busiest = max(busiest, moved)
 	}
-	return most / all
+	return busiest / total
 }
