--- a/internal/downstream/caller.go
+++ b/internal/downstream/caller.go
@@ -45,94 +45,94 @@
 	Resumptions ResumptionProvider // nil where it is not switched on; set before Serve
 	Metrics     *metrics.Registry  // nil if nobody asks; set before Serve
 
-	decider    Dispatcher
-	branches   dispatch.AttemptStarter // to next hops of the line protocol
-	limits     Limits
-	retryAfter atomic.Int64 // limits.Pause, which may change
-	bad        logging.Throttled
-	failed     logging.Throttled
-	freed      chan struct{} // a leg has ended: there may be room for another
+	dispatcher      Dispatcher
+	attempts        dispatch.AttemptStarter // to next hops of the line protocol
+	limits          Limits
+	retryAfter      atomic.Int64 // limits.Pause, which may change
+	rejectedLineLog logging.Throttled
+	acceptErrorLog  logging.Throttled
+	socketFreed     chan struct{} // a leg has ended: there may be room for another
 
-	mu       sync.Mutex
-	accepts  bool                    // Serve runs
-	leaving  bool                    // the node is being emptied
-	ended    bool                    // for good: nothing is taken any more
-	over     bool                    // and newcomers are seen off unread
-	refuseAt time.Time               // while it is emptied: newcomers get the busy answer from then on
-	end      time.Time               // of the plan by which it is emptied for good
-	rejoined func()                  // ends the emptying that can be ended; nil without one
-	running  map[*proxy.Session]bool // whether the decider has it
-	legs     map[net.Conn]struct{}
-	resting  list.List // of *visitor: have not opened anything, the oldest first
-	parting  list.List // of *visitor: have their last answer and are read out, the oldest first
-	partings int       // these, and those whose read-out was cut short
-	wg       sync.WaitGroup
+	mu             sync.Mutex
+	accepting      bool                    // Serve runs
+	draining       bool                    // the node is being emptied
+	shuttingDown   bool                    // for good: nothing is taken any more
+	rejectUnread   bool                    // and newcomers are seen off unread
+	rejectAt       time.Time               // while it is emptied: newcomers get the busy answer from then on
+	drainEndAt     time.Time               // of the plan by which it is emptied for good
+	cancelLameDuck func()                  // ends the emptying that can be ended; nil without one
+	sessions       map[*proxy.Session]bool // whether the decider has it
+	clients        map[net.Conn]struct{}
+	idle           list.List // of *visitor: have not opened anything, the oldest first
+	lingering      list.List // of *visitor: have their last answer and are read out, the oldest first
+	lingeringCount int       // these, and those whose read-out was cut short
+	wg             sync.WaitGroup
 }
 
 // New returns a Server that keeps to the limits.
-func New(d Dispatcher, b dispatch.AttemptStarter, l Limits) *Server {
-	s := &Server{decider: d, branches: b, limits: l, running: map[*proxy.Session]bool{},
-		legs: map[net.Conn]struct{}{}, freed: make(chan struct{}, 1)}
-	s.SetRetryAfter(l.RetryAfter)
+func New(dispatcher Dispatcher, attempts dispatch.AttemptStarter, limits Limits) *Server {
+	s := &Server{dispatcher: dispatcher, attempts: attempts, limits: limits, sessions: map[*proxy.Session]bool{},
+		clients: map[net.Conn]struct{}{}, socketFreed: make(chan struct{}, 1)}
+	s.SetRetryAfter(limits.RetryAfter)
 	return s
 }
 
 // SetPause changes what callers who are refused unseen are asked to wait.
-func (s *Server) SetRetryAfter(d time.Duration) { s.retryAfter.Store(int64(d)) }
+func (s *Server) SetRetryAfter(retryAfter time.Duration) { s.retryAfter.Store(int64(retryAfter)) }
 
 // Sockets is how many are in use, or may be.
 func (s *Server) SocketsInUse() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.legs) + len(s.running)
+	return len(s.clients) + len(s.sessions)
 }
 
 // Open counts the connections that were taken and have not ended.
 func (s *Server) OpenSessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.running)
+	return len(s.sessions)
 }
 
 // TakesClients tells whether newcomers are welcome.
 func (s *Server) AcceptsClients() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.accepts && !s.leaving
+	return s.accepting && !s.draining
 }
 
 // Adopt goes on with what another process has handed over. If it is false the
 // connections stay the giver's.
-func (s *Server) Adopt(st proxy.EstablishedSession, caller, hop net.Conn) bool {
-	t := proxy.Inherit(st, lineproto.Codec{}, s.decider, caller, hop)
-	t.Metrics = s.Metrics.Class(st.Class)
+func (s *Server) Adopt(state proxy.EstablishedSession, client, upstream net.Conn) bool {
+	session := proxy.Inherit(state, lineproto.Codec{}, s.dispatcher, client, upstream)
+	session.Metrics = s.Metrics.Class(state.Class)
 	s.mu.Lock()
-	ended := s.ended
-	if !ended {
-		s.legs[caller] = struct{}{}
-		s.running[t] = true
+	shuttingDown := s.shuttingDown
+	if !shuttingDown {
+		s.clients[client] = struct{}{}
+		s.sessions[session] = true
 		s.wg.Add(1)
 	}
 	s.mu.Unlock()
-	if ended {
+	if shuttingDown {
 		return false
 	}
-	if !s.decider.Adopt(t, st.Server) {
+	if !s.dispatcher.Adopt(session, state.Server) {
 		s.mu.Lock()
-		delete(s.legs, caller)
-		delete(s.running, t)
+		delete(s.clients, client)
+		delete(s.sessions, session)
 		s.mu.Unlock()
 		s.wg.Done()
 		return false
 	}
 	go func() {
 		defer s.wg.Done()
-		t.Run()
+		session.Run()
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.legs, caller)
-		delete(s.running, t)
-		s.free()
+		delete(s.clients, client)
+		delete(s.sessions, session)
+		s.signalSocketFreed()
 	}()
 	return true
 }
--- a/internal/downstream/caller_test.go
+++ b/internal/downstream/caller_test.go
@@ -88,7 +88,7 @@
 	s := New(d, nil, Limits{Sockets: 16})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
-	for wait, most := range map[string]time.Duration{"1800": 1800 * time.Millisecond, "4294967": longestWait} {
+	for wait, most := range map[string]time.Duration{"1800": 1800 * time.Millisecond, "4294967": maxRequestTimeout} {
 		conn, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -89,7 +89,7 @@
 	tests := []told{
 		{name: "rests", want: "BUSY 500"},
 		{name: "rests after PINGs", says: "PING\r\nPING\r\n", pongs: 2, want: "BUSY 500"},
-		{name: "PINGs too often", says: strings.Repeat("PING\r\n", pings+1), pongs: pings, want: "ERR"},
+		{name: "PINGs too often", says: strings.Repeat("PING\r\n", maxPings+1), pongs: maxPings, want: "ERR"},
 		{name: "half a line", says: "OPEN a k c=fe", want: "ERR"},
 		{name: "no line", says: "HELLO\r\n", want: "ERR"},
 		{name: "rests, makes room", meanwhile: room, want: "BUSY 500"},
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -9,11 +9,11 @@
 
 const (
 	// step is the pace of the moves while the node is emptied.
-	step = 20 * time.Millisecond
+	drainInterval = 20 * time.Millisecond
 	// arrivals is how long callers keep coming after the node began to leave.
-	arrivals = 600 * time.Millisecond
+	arrivalWindow = 600 * time.Millisecond
 	// parted is what all take who are told to go at last: a step, a write and the read-out.
-	parted = linger + 2*step
+	finalAnswerTime = lingerTimeout + 2*drainInterval
 )
 
 // Plan says how the node is emptied. Every standing connection is moved, evenly
@@ -31,84 +31,84 @@
 
 // Leave has the node emptied for good: what comes on callers' connections from then on gets
 // the busy answer. Drain has to follow.
-func (s *Server) StartDraining(refuse time.Time) {
+func (s *Server) StartDraining(rejectAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejoined != nil { // what an operator began goes on by another plan
-		s.rejoined()
-		s.rejoined = nil
+	if s.cancelLameDuck != nil { // what an operator began goes on by another plan
+		s.cancelLameDuck()
+		s.cancelLameDuck = nil
 	}
-	s.leaving, s.refuseAt, s.accepts, s.ended = true, refuse, false, true
+	s.draining, s.rejectAt, s.accepting, s.shuttingDown = true, rejectAt, false, true
 }
 
 // Drain empties the node for good. It returns when all are gone, or at the plan's end.
-func (s *Server) Drain(p DrainPlan) {
-	s.StartDraining(p.RejectAt)
+func (s *Server) Drain(plan DrainPlan) {
+	s.StartDraining(plan.RejectAt)
 	s.mu.Lock()
-	s.end = p.EndAt
+	s.drainEndAt = plan.EndAt
 	s.mu.Unlock()
-	s.empty(context.Background(), p)
+	s.runDrain(context.Background(), plan)
 }
 
 // LameDuck empties the node until Rejoin. It returns at once, and changes nothing if
 // the node is being emptied already.
-func (s *Server) LameDuck(p DrainPlan) {
+func (s *Server) LameDuck(plan DrainPlan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving {
+	if s.draining {
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.leaving, s.refuseAt, s.rejoined = true, p.RejectAt, cancel
-	s.wg.Go(func() { s.empty(ctx, p) })
+	s.draining, s.rejectAt, s.cancelLameDuck = true, plan.RejectAt, cancel
+	s.wg.Go(func() { s.runDrain(ctx, plan) })
 }
 
 // Rejoin ends what LameDuck began: who has not been told to move stays.
 func (s *Server) Rejoin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejoined != nil {
-		s.rejoined()
-		s.leaving, s.rejoined = false, nil
+	if s.cancelLameDuck != nil {
+		s.cancelLameDuck()
+		s.draining, s.cancelLameDuck = false, nil
 	}
 }
 
 // empty moves what stands by the plan, until ctx ends. If that never does, it returns
 // once nobody is left and nobody comes any more; else who comes late is moved too.
-func (s *Server) empty(ctx context.Context, p DrainPlan) {
-	begun, due := time.Now(), 0.0 // moves that the pace allows by now
-	last := p.EndAt.Add(-parted)
-	until, forGood := earlier(p.MoveEndAt, last), ctx.Done() == nil
-	tick := time.NewTicker(step)
-	defer tick.Stop()
-	for now := begun; now.Before(p.EndAt); {
-		standing, resting, others := s.standing()
-		if quiet := len(standing)+others == 0 && now.Sub(begun) > arrivals; forGood {
-			if quiet && resting == 0 {
+func (s *Server) runDrain(ctx context.Context, plan DrainPlan) {
+	startedAt, migrationsDue := time.Now(), 0.0 // moves that the pace allows by now
+	rejectRemainingAt := plan.EndAt.Add(-finalAnswerTime)
+	moveEndAt, shuttingDown := earlier(plan.MoveEndAt, rejectRemainingAt), ctx.Done() == nil
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for now := startedAt; now.Before(plan.EndAt); {
+		established, idle, others := s.surveyClients()
+		if noArrivals := len(established)+others == 0 && now.Sub(startedAt) > arrivalWindow; shuttingDown {
+			if noArrivals && idle == 0 {
 				return
 			}
-			if quiet && !now.Before(p.RejectAt) || !now.Before(last) {
-				s.lastCall()
+			if noArrivals && !now.Before(plan.RejectAt) || !now.Before(rejectRemainingAt) {
+				s.rejectRemaining()
 			}
 		}
-		n := len(standing)
-		if p.Successor != nil {
-			for _, t := range standing {
-				t.HandOver(p.Successor)
+		count := len(established)
+		if plan.Successor != nil {
+			for _, session := range established {
+				session.HandOver(plan.Successor)
 			}
-			n = 0
-		} else if now.Before(p.MoveStartAt) {
-			n = 0
-		} else if left := until.Sub(now); left > step {
-			due += float64(n) * step.Seconds() / left.Seconds()
-			n = min(n, int(due))
-			due -= float64(n)
+			count = 0
+		} else if now.Before(plan.MoveStartAt) {
+			count = 0
+		} else if timeLeft := moveEndAt.Sub(now); timeLeft > drainInterval {
+			migrationsDue += float64(count) * drainInterval.Seconds() / timeLeft.Seconds()
+			count = min(count, int(migrationsDue))
+			migrationsDue -= float64(count)
 		}
-		s.move(ctx, standing[:n])
+		s.migrate(ctx, established[:count])
 		select {
 		case <-ctx.Done():
 			return
-		case now = <-tick.C:
+		case now = <-ticker.C:
 		}
 	}
 }
@@ -122,48 +122,48 @@
 
 // move asks connections to go, unless the emptying has ended: under the lock, so that
 // none goes after Rejoin has returned.
-func (s *Server) move(ctx context.Context, standing []*proxy.Session) {
+func (s *Server) migrate(ctx context.Context, sessions []*proxy.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
 		return
 	}
-	for _, t := range standing {
-		t.Migrate()
+	for _, session := range sessions {
+		session.Migrate()
 	}
 }
 
 // lastCall has all who rest seen off, as are those who come from now on, and gives up what
 // is not answered yet.
-func (s *Server) lastCall() {
-	var left []*proxy.Session
+func (s *Server) rejectRemaining() {
+	var unanswered []*proxy.Session
 	s.mu.Lock()
-	s.over = true
-	for e := s.resting.Front(); e != nil; e = s.resting.Front() {
-		s.part(e.Value.(*visitor))
+	s.rejectUnread = true
+	for element := s.idle.Front(); element != nil; element = s.idle.Front() {
+		s.evict(element.Value.(*pendingClient))
 	}
-	for t, submitted := range s.running {
+	for session, submitted := range s.sessions {
 		if submitted { // else submitted sees to it
-			left = append(left, t)
+			unanswered = append(unanswered, session)
 		}
 	}
 	s.mu.Unlock()
-	for _, t := range left {
-		t.GiveUp()
+	for _, session := range unanswered {
+		session.GiveUp()
 	}
 }
 
 // standing lists the connections that stand and were not told to move, and counts the
 // callers that have not opened anything and all other legs: also those that have their last
 // answer and are read out.
-func (s *Server) standing() (list []*proxy.Session, resting, others int) {
+func (s *Server) surveyClients() (established []*proxy.Session, idle, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for t := range s.running {
-		if t.IsEstablished() {
-			list = append(list, t)
+	for session := range s.sessions {
+		if session.IsEstablished() {
+			established = append(established, session)
 		}
 	}
-	resting = s.resting.Len()
-	return list, resting, len(s.legs) - resting - len(list)
+	idle = s.idle.Len()
+	return established, idle, len(s.clients) - idle - len(established)
 }
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -159,7 +159,7 @@
 			}
 			// Alone it is told when nobody comes any more, else by its own time.
 			text, err := bufio.NewReader(rests).ReadString('\n')
-			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !stands && (at < arrivals || at > arrivals+2*step) {
+			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !stands && (at < arrivalWindow || at > arrivalWindow+2*drainInterval) {
 				t.Errorf("%q, %v after %v", text, err, at)
 			}
 			at := time.Now()
@@ -169,7 +169,7 @@
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
-			if sent := time.Since(at); sent < linger {
+			if sent := time.Since(at); sent < lingerTimeout {
 				t.Errorf("it was cut off %v after its answer", sent)
 			}
 			rests.Close()
@@ -206,7 +206,7 @@
 	drained := make(chan struct{})
 	go func() {
 		now := time.Now()
-		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now, EndAt: now.Add(parted + 100*time.Millisecond)})
+		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now, EndAt: now.Add(finalAnswerTime + 100*time.Millisecond)})
 		close(drained)
 	}()
 	for { // until newcomers are seen off unread
--- a/internal/downstream/listen.go
+++ b/internal/downstream/listen.go
@@ -10,19 +10,19 @@
 // it does not accept: those who come wait in the kernel's backlog.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
-	s.accepts = true
+	s.accepting = true
 	s.mu.Unlock()
 	for {
-		s.awaitRoom()
+		s.awaitCapacity()
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			v := s.hold(conn, time.Now().Add(firstLine)) // here, so that it counts when room is looked for
-			s.wg.Go(func() { s.serve(v) })
+			client := s.addClient(conn, time.Now().Add(firstLineTimeout)) // here, so that it counts when room is looked for
+			s.wg.Go(func() { s.serveClient(client) })
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // out of descriptors all the same: others must end first
-			s.failed.Warn("accept", "err", err)
+			s.acceptErrorLog.Warn("accept", "err", err)
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
@@ -33,22 +33,22 @@
 // last, have until the plan's end for it.
 func (s *Server) Close() {
 	s.mu.Lock()
-	ended, end := s.ended, s.end
+	shuttingDown, endAt := s.shuttingDown, s.drainEndAt
 	s.mu.Unlock()
-	if !ended {
-		s.cut()
+	if !shuttingDown {
+		s.closeAll()
 	} else {
-		defer time.AfterFunc(max(time.Until(end), glance), s.cut).Stop()
+		defer time.AfterFunc(max(time.Until(endAt), minLinger), s.closeAll).Stop()
 	}
 	s.wg.Wait()
 }
 
 // cut closes all legs.
-func (s *Server) cut() {
+func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.over = true
-	for conn := range s.legs {
+	s.rejectUnread = true
+	for conn := range s.clients {
 		_ = conn.Close()
 	}
 }
--- a/internal/downstream/room.go
+++ b/internal/downstream/room.go
@@ -11,15 +11,15 @@
 
 // glance is how long the read-out of one that has its last answer takes at least, also
 // when others wait for its socket.
-const glance = 25 * time.Millisecond
+const minLinger = 25 * time.Millisecond
 
 // visitor is a caller's connection that is no transaction: it rests until its first line
 // comes, or it parts, which is to have its last answer and to be read out.
-type visitor struct {
-	conn     net.Conn
-	deadline time.Time     // for its first line
-	place    *list.Element // among those that rest, then among those that part
-	since    time.Time     // when it was told to part; zero if it was not
+type pendingClient struct {
+	conn         net.Conn
+	deadline     time.Time     // for its first line
+	element      *list.Element // among those that rest, then among those that part
+	lingersSince time.Time     // when it was told to part; zero if it was not
 }
 
 // Partings is how many sockets those may use that are seen off, beside the given ones of
@@ -35,20 +35,20 @@
 
 // used counts the sockets of callers and their branches, in both processes where there are
 // two, under the lock.
-func (s *Server) used() int {
-	n := len(s.legs) - s.partings + len(s.running)
+func (s *Server) socketsUsed() int {
+	used := len(s.clients) - s.lingeringCount + len(s.sessions)
 	if s.limits.UsedElsewhere != nil {
-		n += s.limits.UsedElsewhere()
+		used += s.limits.UsedElsewhere()
 	}
-	return n
+	return used
 }
 
 // awaitRoom returns when there is room for one more caller, if need be one that is only
 // refused. Who has rested longest makes it; a usual caller sends its line at once.
-func (s *Server) awaitRoom() {
-	for wait := s.full(); wait > 0; wait = s.full() {
+func (s *Server) awaitCapacity() {
+	for wait := s.makeCapacity(); wait > 0; wait = s.makeCapacity() {
 		select {
-		case <-s.freed:
+		case <-s.socketFreed:
 		case <-time.After(wait):
 		}
 	}
@@ -57,66 +57,66 @@
 // full returns 0 if there is room for one more caller; else it has somebody make room, and
 // returns when to look again. Half of what is kept for partings is left to those that
 // admit sends away.
-func (s *Server) full() time.Duration {
+func (s *Server) makeCapacity() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	most := LingeringSockets(s.limits.Sockets) / 2
-	if s.partings < most && s.used() >= s.limits.Sockets {
-		s.partOldest(nil)
+	maxLingering := LingeringSockets(s.limits.Sockets) / 2
+	if s.lingeringCount < maxLingering && s.socketsUsed() >= s.limits.Sockets {
+		s.evictLongestIdle(nil)
 	}
-	if s.partings < most && s.used() < s.limits.Sockets || len(s.legs)-len(s.running) < most {
+	if s.lingeringCount < maxLingering && s.socketsUsed() < s.limits.Sockets || len(s.clients)-len(s.sessions) < maxLingering {
 		return 0
 	}
-	oldest := s.parting.Front()
+	oldest := s.lingering.Front()
 	if oldest == nil {
-		return glance
+		return minLinger
 	}
-	v := oldest.Value.(*visitor)
-	if left := glance - time.Since(v.since); left > 0 {
-		return left
+	client := oldest.Value.(*pendingClient)
+	if remaining := minLinger - time.Since(client.lingersSince); remaining > 0 {
+		return remaining
 	}
-	s.parting.Remove(oldest)
-	_ = v.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
-	return glance
+	s.lingering.Remove(oldest)
+	_ = client.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
+	return minLinger
 }
 
 // hold keeps conn among the legs, as one that rests until the deadline at the latest.
-func (s *Server) hold(conn net.Conn, deadline time.Time) *visitor {
+func (s *Server) addClient(conn net.Conn, deadline time.Time) *pendingClient {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := &visitor{conn: conn, deadline: deadline}
-	s.legs[conn] = struct{}{}
-	v.place = s.resting.PushBack(v)
+	client := &pendingClient{conn: conn, deadline: deadline}
+	s.clients[conn] = struct{}{}
+	client.element = s.idle.PushBack(client)
 	_ = conn.SetReadDeadline(deadline) // moved only to end the wait
-	if s.over {
-		s.part(v)
+	if s.rejectUnread {
+		s.evict(client)
 	}
-	return v
+	return client
 }
 
 // admit tells whether t, which v has opened, may be served. While the node is emptied
 // nobody may, but for who is still sent here because the news is not out.
-func (s *Server) admit(t *proxy.Session, v *visitor) bool {
+func (s *Server) admit(session *proxy.Session, client *pendingClient) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !v.since.IsZero() || s.leaving && !time.Now().Before(s.refuseAt) {
+	if !client.lingersSince.IsZero() || s.draining && !time.Now().Before(s.rejectAt) {
 		return false
 	}
-	if s.used() >= s.limits.Sockets && (s.partings >= LingeringSockets(s.limits.Sockets) || !s.partOldest(v)) {
+	if s.socketsUsed() >= s.limits.Sockets && (s.lingeringCount >= LingeringSockets(s.limits.Sockets) || !s.evictLongestIdle(client)) {
 		return false
 	}
-	s.resting.Remove(v.place)
-	s.running[t] = false
-	_ = v.conn.SetReadDeadline(time.Time{}) // it can't be told to part any more
+	s.idle.Remove(client.element)
+	s.sessions[session] = false
+	_ = client.conn.SetReadDeadline(time.Time{}) // it can't be told to part any more
 	return true
 }
 
 // partOldest tells who has rested longest to part, but not but, and whether there is one;
 // under the lock.
-func (s *Server) partOldest(but *visitor) bool {
-	for e := s.resting.Front(); e != nil; e = e.Next() {
-		if v := e.Value.(*visitor); v != but {
-			s.part(v)
+func (s *Server) evictLongestIdle(except *pendingClient) bool {
+	for element := s.idle.Front(); element != nil; element = element.Next() {
+		if client := element.Value.(*pendingClient); client != except {
+			s.evict(client)
 			return true
 		}
 	}
@@ -125,34 +125,34 @@
 
 // part tells a visitor to part: its read ends, and it is seen off. Under the lock; again it
 // changes nothing.
-func (s *Server) part(v *visitor) {
-	if !v.since.IsZero() {
+func (s *Server) evict(client *pendingClient) {
+	if !client.lingersSince.IsZero() {
 		return
 	}
-	s.resting.Remove(v.place)
-	v.since = time.Now()
-	v.place = s.parting.PushBack(v)
-	s.partings++
-	_ = v.conn.SetReadDeadline(bufconn.PastDeadline)
+	s.idle.Remove(client.element)
+	client.lingersSince = time.Now()
+	client.element = s.lingering.PushBack(client)
+	s.lingeringCount++
+	_ = client.conn.SetReadDeadline(bufconn.PastDeadline)
 }
 
 // letGo forgets a visitor, or the leg that it has become; its connection is closed.
-func (s *Server) letGo(v *visitor) {
+func (s *Server) removeClient(client *pendingClient) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.legs, v.conn)
-	s.resting.Remove(v.place)
-	if !v.since.IsZero() {
-		s.parting.Remove(v.place)
-		s.partings--
+	delete(s.clients, client.conn)
+	s.idle.Remove(client.element)
+	if !client.lingersSince.IsZero() {
+		s.lingering.Remove(client.element)
+		s.lingeringCount--
 	}
-	s.free()
+	s.signalSocketFreed()
 }
 
 // free wakes who waits for room.
-func (s *Server) free() {
+func (s *Server) signalSocketFreed() {
 	select {
-	case s.freed <- struct{}{}:
+	case s.socketFreed <- struct{}{}:
 	default:
 	}
 }
--- a/internal/downstream/room_test.go
+++ b/internal/downstream/room_test.go
@@ -45,7 +45,7 @@
 		}
 		defer conn.Close()
 		opens := fmt.Sprintf("OPEN a%d k c=feed,d=40000\r\n", i)
-		fmt.Fprint(conn, []string{"", "HELLO\r\n", strings.Repeat("PING\r\n", pings+1), opens, "HELLO\r\n"}[i%5])
+		fmt.Fprint(conn, []string{"", "HELLO\r\n", strings.Repeat("PING\r\n", maxPings+1), opens, "HELLO\r\n"}[i%5])
 		if i%20 == 19 {
 			usual, err := net.Dial("tcp", plain.Addr().String())
 			if err != nil {
