--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -117,9 +117,9 @@
 	switch {
 	case a.Zones == nil:
 	case heard:
-		d.ZoneBounds, d.ShedShare = state.TrafficLimits(a.Zone), state.Shed
+		d.ZoneLimits, d.ShedFraction = state.TrafficLimits(a.Zone), state.Shed
 	default:
-		d.ZoneBounds, d.ShedShare = a.alone.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
+		d.ZoneLimits, d.ShedFraction = a.alone.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
 	}
 	a.Gossip.SetDecision(d)
 	a.mu.Lock()
@@ -157,7 +157,7 @@
 
 // Answer takes what the node has said. The node's clock is the machine's.
 func (a *Agent) HandleReport(s agentapi.Report) agentapi.Response {
-	g := a.Gossip.ReportSpending(s.QuotaUsage)
+	g := a.Gossip.ReportQuotaUsage(s.QuotaUsage)
 	g.TokensExpireAt -= a.ClockOffset
 	told := agentapi.Response{QuotaLease: g}
 	if a.Accounts != nil && a.Log != nil {
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -106,8 +106,8 @@
 		}
 	}
 	a.mu.Lock()
-	s.RejectedShare = a.given.ShedShare
-	for _, b := range a.given.ZoneBounds {
+	s.RejectedShare = a.given.ShedFraction
+	for _, b := range a.given.ZoneLimits {
 		s.ZoneLimits = append(s.ZoneLimits, agentapi.ZoneLimit(b))
 	}
 	a.mu.Unlock()
--- a/internal/fleet/gossip/agent.go
+++ b/internal/fleet/gossip/agent.go
@@ -19,7 +19,7 @@
 
 // binds is how long a grant keeps the node to the fleet's budgets after the agent has last
 // been heard of.
-const binds = time.Second
+const grantLifetime = time.Second
 
 // Agent is one member. Its methods may be called at any time; Zone and Record are set
 // before.
@@ -28,166 +28,166 @@
 	ReplogAddress string               // where the others reach its record; empty where it serves none
 	OnMessage     func(message []byte) // what others Tell this member; nil for nobody
 
-	name  string
-	boot  int64
-	cfg   quota.Config
-	clock func() time.Duration
+	name        string
+	incarnation int64
+	cfg         quota.Config
+	clock       func() time.Duration
 
-	mu     sync.Mutex
-	state  *quota.State
-	places map[string]place  // of others
-	words  map[string]word   // the last of each member
-	uses   map[string]Usage  // and of what it uses of accounts,
-	raw    map[string][]byte // as it travels
-	given  Decision
-	seq    uint64
-	half   int64                  // of the node's last word
-	spent  map[quota.Endpoint]int // in that half
-	prior  map[quota.Endpoint]int // in the half before it
-	seed   maphash.Seed
-	heard  [4096]uint64 // marks of reports that were taken
-	spread func(name string, report []byte)
-	list   *memberlist.Memberlist // nil before Run has met anybody
+	mu                 sync.Mutex
+	quotaState         *quota.State
+	metadata           map[string]nodeMetadata // of others
+	reports            map[string]report       // the last of each member
+	usages             map[string]Usage        // and of what it uses of accounts,
+	encodedUsages      map[string][]byte       // as it travels
+	decision           Decision
+	seq                uint64
+	period             int64                  // of the node's last word
+	spentInPeriod      map[quota.Endpoint]int // in that half
+	spentInPriorPeriod map[quota.Endpoint]int // in the half before it
+	hashSeed           maphash.Seed
+	receivedHashes     [4096]uint64 // marks of reports that were taken
+	enqueue            func(name string, report []byte)
+	cluster            *memberlist.Memberlist // nil before Run has met anybody
 }
 
 // Decided is what the record, or this member by itself, has decided for its node.
 type Decision struct {
-	LogIndex   uint64                    // of the record as this member serves it
-	ZoneBounds []zonestatus.TrafficLimit // zones that are not named are not bounded
-	ShedShare  float64                   // share of first arrivals that is refused at once
+	LogIndex     uint64                    // of the record as this member serves it
+	ZoneLimits   []zonestatus.TrafficLimit // zones that are not named are not bounded
+	ShedFraction float64                   // share of first arrivals that is refused at once
 }
 
 // NewAgent returns a member by that name that knows nobody.
-func NewMember(name string, cfg quota.Config, ignore quota.Guards, clock func() time.Duration) *Member {
-	a := &Member{name: name, boot: int64(clock()), cfg: cfg, clock: clock, state: quota.NewState(name, cfg),
-		places: map[string]place{}, words: map[string]word{},
-		uses: map[string]Usage{}, raw: map[string][]byte{}, seed: maphash.MakeSeed(),
-		spent: map[quota.Endpoint]int{}, prior: map[quota.Endpoint]int{}, spread: func(string, []byte) {}}
-	a.state.DisabledGuards = ignore
-	return a
+func NewMember(name string, cfg quota.Config, disabledGuards quota.Guards, clock func() time.Duration) *Member {
+	m := &Member{name: name, incarnation: int64(clock()), cfg: cfg, clock: clock, quotaState: quota.NewState(name, cfg),
+		metadata: map[string]nodeMetadata{}, reports: map[string]report{},
+		usages: map[string]Usage{}, encodedUsages: map[string][]byte{}, hashSeed: maphash.MakeSeed(),
+		spentInPeriod: map[quota.Endpoint]int{}, spentInPriorPeriod: map[quota.Endpoint]int{}, enqueue: func(string, []byte) {}}
+	m.quotaState.DisabledGuards = disabledGuards
+	return m
 }
 
 // Decide takes what the node is told from now on.
-func (a *Member) SetDecision(d Decision) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.given = d
-	a.forget(a.clock())
+func (m *Member) SetDecision(decision Decision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.decision = decision
+	m.removeExpired(m.clock())
 }
 
 // Answer takes what the node has spent and returns what it may spend now.
-func (a *Member) ReportSpending(sp balance.QuotaUsage) balance.QuotaLease {
-	now := a.clock()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.own(now, sp)
-	a.forget(now)
-	half, _, end := a.cfg.Period(now)
-	g := balance.QuotaLease{Period: half, TokensExpireAt: end, LeaseDuration: binds, RetryBudget: a.state.RetryBudget(now), ShedFraction: a.given.ShedShare}
-	old := a.half == half && sp.Period < half // a new process of the node: the old one had this half's tokens
-	for _, b := range a.given.ZoneBounds {
-		g.Zones = append(g.Zones, a.zoneGrant(now, b, old))
+func (m *Member) ReportQuotaUsage(usage balance.QuotaUsage) balance.QuotaLease {
+	now := m.clock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publishReport(now, usage)
+	m.removeExpired(now)
+	period, _, end := m.cfg.Period(now)
+	lease := balance.QuotaLease{Period: period, TokensExpireAt: end, LeaseDuration: grantLifetime, RetryBudget: m.quotaState.RetryBudget(now), ShedFraction: m.decision.ShedFraction}
+	superseded := m.period == period && usage.Period < period // a new process of the node: the old one had this half's tokens
+	for _, limit := range m.decision.ZoneLimits {
+		lease.Zones = append(lease.Zones, m.zoneQuota(now, limit, superseded))
 	}
-	if old {
-		return g
+	if superseded {
+		return lease
 	}
-	for _, t := range a.state.Allocate(now) {
-		g.Servers = append(g.Servers, balance.ServerQuota{ID: t.ID, StartedAt: time.Duration(t.StartedAt) * time.Millisecond, Tokens: t.Tokens})
+	for _, allocation := range m.quotaState.Allocate(now) {
+		lease.Servers = append(lease.Servers, balance.ServerQuota{ID: allocation.ID, StartedAt: time.Duration(allocation.StartedAt) * time.Millisecond, Tokens: allocation.Tokens})
 	}
-	for _, s := range a.state.Outliers(now) {
-		g.EjectedServers = append(g.EjectedServers, s.ID)
+	for _, outlier := range m.quotaState.Outliers(now) {
+		lease.EjectedServers = append(lease.EjectedServers, outlier.ID)
 	}
-	return g
+	return lease
 }
 
-func (a *Member) zoneGrant(now time.Duration, b zonestatus.TrafficLimit, spent bool) balance.ZoneQuota {
-	g := balance.ZoneQuota{Zone: b.Zone, Share: b.Share, Tokens: -1}
-	if b.Rate > 0 {
-		if g.Tokens = 0; !spent {
-			g.Tokens = a.state.AllocateRate(now, quota.ZoneKey(b.Zone), b.Rate)
+func (m *Member) zoneQuota(now time.Duration, limit zonestatus.TrafficLimit, superseded bool) balance.ZoneQuota {
+	zoneQuota := balance.ZoneQuota{Zone: limit.Zone, Share: limit.Share, Tokens: -1}
+	if limit.Rate > 0 {
+		if zoneQuota.Tokens = 0; !superseded {
+			zoneQuota.Tokens = m.quotaState.AllocateRate(now, quota.ZoneKey(limit.Zone), limit.Rate)
 		}
 	}
-	return g
+	return zoneQuota
 }
 
 // own makes this member's report of what its node says, and spreads it.
-func (a *Member) own(now time.Duration, sp balance.QuotaUsage) {
-	if sp.Period > a.half {
-		if a.prior = a.spent; sp.Period > a.half+1 {
-			a.prior = map[quota.Endpoint]int{}
+func (m *Member) publishReport(now time.Duration, usage balance.QuotaUsage) {
+	if usage.Period > m.period {
+		if m.spentInPriorPeriod = m.spentInPeriod; usage.Period > m.period+1 {
+			m.spentInPriorPeriod = map[quota.Endpoint]int{}
 		}
-		a.half, a.spent = sp.Period, map[quota.Endpoint]int{}
+		m.period, m.spentInPeriod = usage.Period, map[quota.Endpoint]int{}
 	}
-	a.seq++
-	w := word{Report: quota.Report{Member: a.name, Incarnation: a.boot, Seq: a.seq, ReportedAt: now, Period: a.half, FirstAttempts: sp.FirstAttempts, Retries: sp.Retries},
-		Zone: a.Zone, Index: a.given.LogIndex, Sights: sights(sp.Servers)}
-	for _, x := range sp.Servers {
-		s := quota.Endpoint{ID: x.ID, StartedAt: x.StartedAt.Milliseconds()}
-		if sp.Period == a.half && x.Used > 0 {
-			a.spent[s] = x.Used
+	m.seq++
+	own := report{Report: quota.Report{Member: m.name, Incarnation: m.incarnation, Seq: m.seq, ReportedAt: now, Period: m.period, FirstAttempts: usage.FirstAttempts, Retries: usage.Retries},
+		Zone: m.Zone, LogIndex: m.decision.LogIndex, Observations: observeZones(usage.Servers)}
+	for _, server := range usage.Servers {
+		endpoint := quota.Endpoint{ID: server.ID, StartedAt: server.StartedAt.Milliseconds()}
+		if usage.Period == m.period && server.Used > 0 {
+			m.spentInPeriod[endpoint] = server.Used
 		}
-		if x.RecentAttempts >= asked || x.WarmingUp {
-			u := quota.Usage{Endpoint: s, WarmingUp: x.WarmingUp, Demand: x.ColdBudget, Attempts: x.RecentAttempts, FailedAttempts: x.RecentFailures}
-			if x.WarmingUp { // tokens are for cold ones alone
-				u.Spent, u.PriorSpent = a.spent[s], a.prior[s]
+		if server.RecentAttempts >= minReportedAttempts || server.WarmingUp {
+			endpointUsage := quota.Usage{Endpoint: endpoint, WarmingUp: server.WarmingUp, Demand: server.ColdBudget, Attempts: server.RecentAttempts, FailedAttempts: server.RecentFailures}
+			if server.WarmingUp { // tokens are for cold ones alone
+				endpointUsage.Spent, endpointUsage.PriorSpent = m.spentInPeriod[endpoint], m.spentInPriorPeriod[endpoint]
 			}
-			w.Usages = append(w.Usages, u)
+			own.Usages = append(own.Usages, endpointUsage)
 		}
 	}
-	for _, z := range sp.Zones {
-		s := quota.ZoneKey(z.Zone)
-		if sp.Period == a.half && z.Used > 0 {
-			a.spent[s] = z.Used
+	for _, zone := range usage.Zones {
+		endpoint := quota.ZoneKey(zone.Zone)
+		if usage.Period == m.period && zone.Used > 0 {
+			m.spentInPeriod[endpoint] = zone.Used
 		}
-		if u := (quota.Usage{Endpoint: s, Spent: a.spent[s], PriorSpent: a.prior[s]}); u.Spent+u.PriorSpent > 0 {
-			w.Usages = append(w.Usages, u)
+		if endpointUsage := (quota.Usage{Endpoint: endpoint, Spent: m.spentInPeriod[endpoint], PriorSpent: m.spentInPriorPeriod[endpoint]}); endpointUsage.Spent+endpointUsage.PriorSpent > 0 {
+			own.Usages = append(own.Usages, endpointUsage)
 		}
 	}
-	a.keep(w)
-	a.spread(a.name, w.pack())
+	m.mergeReport(own)
+	m.enqueue(m.name, own.encode())
 }
 
 // keep takes a report if it is news, and tells whether it was.
-func (a *Member) keep(w word) bool {
-	if !w.sound() || !a.state.Merge(w.Report) {
+func (m *Member) mergeReport(received report) bool {
+	if !received.isValid() || !m.quotaState.Merge(received.Report) {
 		return false
 	}
-	a.words[w.Member] = w
+	m.reports[received.Member] = received
 	return true
 }
 
 // Hear takes a report as it came, and spreads it further if it is news. Gossip brings each
 // several times: it is read once.
-func (a *Member) Receive(raw []byte) {
-	mark := maphash.Bytes(a.seed, raw)
-	place := &a.heard[mark%uint64(len(a.heard))]
-	a.mu.Lock()
-	known := *place == mark
-	a.mu.Unlock()
+func (m *Member) Receive(raw []byte) {
+	hash := maphash.Bytes(m.hashSeed, raw)
+	slot := &m.receivedHashes[hash%uint64(len(m.receivedHashes))]
+	m.mu.Lock()
+	known := *slot == hash
+	m.mu.Unlock()
 	if known {
 		return
 	}
-	if isUsed(raw) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		name, news, err := a.hearUsed(raw)
+	if isUsageMessage(raw) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		name, isNew, err := m.mergeUsage(raw)
 		if err != nil {
 			slog.Warn("fleet: what a member says to have used can't be read", "err", err)
-		} else if news {
-			*place = mark
-			a.spread(name, slices.Clone(raw))
+		} else if isNew {
+			*slot = hash
+			m.enqueue(name, slices.Clone(raw))
 		}
 		return
 	}
-	w, err := read(raw)
+	decoded, err := decodeReport(raw)
 	if err != nil {
 		slog.Warn("fleet: a report that can't be read", "err", err)
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if w.Member != a.name && a.keep(w) {
-		*place = mark
-		a.spread(w.Member, slices.Clone(raw))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if decoded.Member != m.name && m.mergeReport(decoded) {
+		*slot = hash
+		m.enqueue(decoded.Member, slices.Clone(raw))
 	}
 }
--- a/internal/fleet/gossip/delegate.go
+++ b/internal/fleet/gossip/delegate.go
@@ -10,51 +10,51 @@
 
 // broadcast is a report on its way; a later one of the same member takes its place.
 type broadcast struct {
-	name string
-	raw  []byte
+	name    string
+	payload []byte
 }
 
-func (r *broadcast) Invalidates(o memberlist.Broadcast) bool {
-	other, ok := o.(*broadcast)
-	return ok && other.name == r.name
+func (b *broadcast) Invalidates(other memberlist.Broadcast) bool {
+	queued, ok := other.(*broadcast)
+	return ok && queued.name == b.name
 }
-func (r *broadcast) Name() string    { return r.name }
-func (r *broadcast) Message() []byte { return r.raw }
-func (r *broadcast) Finished()       {}
+func (b *broadcast) Name() string    { return b.name }
+func (b *broadcast) Message() []byte { return b.payload }
+func (b *broadcast) Finished()       {}
 
 // delegate is what memberlist calls.
 type delegate struct {
-	agent *Member
-	meta  []byte
-	there atomic.Int64 // members that are alive
-	queue memberlist.TransmitLimitedQueue
+	member       *Member
+	meta         []byte
+	aliveMembers atomic.Int64 // members that are alive
+	queue        memberlist.TransmitLimitedQueue
 }
 
 func (d *delegate) NodeMeta(int) []byte { return d.meta }
 func (d *delegate) NotifyMsg(raw []byte) {
-	if !d.agent.told(raw) {
-		d.agent.Receive(raw)
+	if !d.member.deliver(raw) {
+		d.member.Receive(raw)
 	}
 }
 
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	return d.queue.GetBroadcasts(overhead, limit)
 }
-func (d *delegate) LocalState(bool) []byte              { return d.agent.all() }
-func (d *delegate) MergeRemoteState(raw []byte, _ bool) { d.agent.hearAll(raw) }
+func (d *delegate) LocalState(bool) []byte              { return d.member.encodeState() }
+func (d *delegate) MergeRemoteState(raw []byte, _ bool) { d.member.receiveState(raw) }
 
-func (d *delegate) NotifyJoin(n *memberlist.Node) {
-	d.there.Add(1)
-	d.agent.SetMemberStatus(n.Name, quota.Alive, n.Meta)
+func (d *delegate) NotifyJoin(node *memberlist.Node) {
+	d.aliveMembers.Add(1)
+	d.member.SetMemberStatus(node.Name, quota.Alive, node.Meta)
 }
-func (d *delegate) NotifyUpdate(n *memberlist.Node) {
-	d.agent.SetMemberStatus(n.Name, quota.Alive, n.Meta)
+func (d *delegate) NotifyUpdate(node *memberlist.Node) {
+	d.member.SetMemberStatus(node.Name, quota.Alive, node.Meta)
 }
-func (d *delegate) NotifyLeave(n *memberlist.Node) {
-	d.there.Add(-1)
-	if n.State == memberlist.StateLeft {
-		d.agent.SetMemberStatus(n.Name, quota.Left, n.Meta)
+func (d *delegate) NotifyLeave(node *memberlist.Node) {
+	d.aliveMembers.Add(-1)
+	if node.State == memberlist.StateLeft {
+		d.member.SetMemberStatus(node.Name, quota.Left, node.Meta)
 		return
 	}
-	d.agent.SetMemberStatus(n.Name, quota.Failed, n.Meta)
+	d.member.SetMemberStatus(node.Name, quota.Failed, node.Meta)
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -29,100 +29,100 @@
 }
 
 // rejoin is how often members that can't be reached are looked for again.
-const rejoin = 2 * time.Second
+const rejoinInterval = 2 * time.Second
 
 // transport is memberlist's, but calls come from the address that it listens on: others
 // can tell who calls, and so can whoever stands between.
 type transport struct {
 	*memberlist.NetTransport
-	from net.IP
+	localIP net.IP
 }
 
 func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.from}}
-	return d.Dial("tcp", addr)
+	dialer := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.localIP}}
+	return dialer.Dial("tcp", addr)
 }
 
-func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return t.DialTimeout(a.Addr, timeout)
+func (t *transport) DialAddressTimeout(address memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.DialTimeout(address.Addr, timeout)
 }
 
 // Run is a member until ctx ends, and then says that it leaves.
-func (a *Member) Run(ctx context.Context, g Config) error {
-	bind, err := netip.ParseAddrPort(g.BindAddress)
+func (m *Member) Run(ctx context.Context, config Config) error {
+	bind, err := netip.ParseAddrPort(config.BindAddress)
 	if err != nil {
 		return fmt.Errorf("fleet.bind: %w", err)
 	}
-	logger := log.New(g.LogOutput, "", 0)
-	tr, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{bind.Addr().String()},
+	logger := log.New(config.LogOutput, "", 0)
+	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{bind.Addr().String()},
 		BindPort: int(bind.Port()), Logger: logger})
 	if err != nil {
 		return fmt.Errorf("fleet.bind: %w", err)
 	}
-	c := memberlist.DefaultLANConfig()
-	c.Name, c.Transport, c.Logger = a.name, &transport{tr, net.IP(bind.Addr().AsSlice())}, logger
-	c.BindAddr, c.BindPort = bind.Addr().String(), int(bind.Port())
-	c.AdvertiseAddr, c.AdvertisePort = c.BindAddr, c.BindPort
-	if g.AdvertiseAddress != "" {
-		to, err := netip.ParseAddrPort(g.AdvertiseAddress)
+	listConfig := memberlist.DefaultLANConfig()
+	listConfig.Name, listConfig.Transport, listConfig.Logger = m.name, &transport{netTransport, net.IP(bind.Addr().AsSlice())}, logger
+	listConfig.BindAddr, listConfig.BindPort = bind.Addr().String(), int(bind.Port())
+	listConfig.AdvertiseAddr, listConfig.AdvertisePort = listConfig.BindAddr, listConfig.BindPort
+	if config.AdvertiseAddress != "" {
+		advertise, err := netip.ParseAddrPort(config.AdvertiseAddress)
 		if err != nil {
 			return fmt.Errorf("fleet.advertise: %w", err)
 		}
-		c.AdvertiseAddr, c.AdvertisePort = to.Addr().String(), int(to.Port())
+		listConfig.AdvertiseAddr, listConfig.AdvertisePort = advertise.Addr().String(), int(advertise.Port())
 	}
-	if !g.Unencrypted {
-		if c.SecretKey, err = ReadKey(g.KeyFile); err != nil {
+	if !config.Unencrypted {
+		if listConfig.SecretKey, err = ReadKey(config.KeyFile); err != nil {
 			return fmt.Errorf("fleet.key: %w", err)
 		}
 	}
-	c.GossipInterval = g.Interval
-	c.ProbeInterval, c.ProbeTimeout = 5*g.Interval, 5*g.Interval/2
+	listConfig.GossipInterval = config.Interval
+	listConfig.ProbeInterval, listConfig.ProbeTimeout = 5*config.Interval, 5*config.Interval/2
 	// Few who are left confirm each other's suspicions late; a false one does no harm, as
 	// tokens are held for longer than that.
-	c.SuspicionMaxTimeoutMult = 2
-	c.PushPullInterval = 10 * time.Second
-	c.DeadNodeReclaimTime = time.Second // a member may come back at another address
-	d := &delegate{agent: a}
-	if d.meta, err = json.Marshal(place{a.Zone, a.ReplogAddress}); err != nil {
+	listConfig.SuspicionMaxTimeoutMult = 2
+	listConfig.PushPullInterval = 10 * time.Second
+	listConfig.DeadNodeReclaimTime = time.Second // a member may come back at another address
+	events := &delegate{member: m}
+	if events.meta, err = json.Marshal(nodeMetadata{m.Zone, m.ReplogAddress}); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
-	d.queue.RetransmitMult = c.RetransmitMult
+	events.queue.RetransmitMult = listConfig.RetransmitMult
 	// Not the list's own count: it is asked for under the queue's lock, and the list
 	// calls NotifyJoin under its own.
-	d.queue.NumNodes = func() int { return int(max(d.there.Load(), 1)) }
-	c.Delegate, c.Events = d, d
-	list, err := memberlist.Create(c)
+	events.queue.NumNodes = func() int { return int(max(events.aliveMembers.Load(), 1)) }
+	listConfig.Delegate, listConfig.Events = events, events
+	cluster, err := memberlist.Create(listConfig)
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
-	a.mu.Lock()
-	a.list = list
-	a.spread = func(name string, report []byte) {
-		d.queue.QueueBroadcast(&broadcast{name, report})
+	m.mu.Lock()
+	m.cluster = cluster
+	m.enqueue = func(name string, payload []byte) {
+		events.queue.QueueBroadcast(&broadcast{name, payload})
 	}
-	a.mu.Unlock()
-	tick := time.NewTicker(rejoin)
+	m.mu.Unlock()
+	tick := time.NewTicker(rejoinInterval)
 	defer tick.Stop()
 	for {
-		a.join(list, g.Peers)
+		m.join(cluster, config.Peers)
 		select {
 		case <-ctx.Done():
-			_ = list.Leave(time.Second)
-			return list.Shutdown()
+			_ = cluster.Leave(time.Second)
+			return cluster.Shutdown()
 		case <-tick.C:
 		}
 	}
 }
 
 // join looks for those of the peers that are not there.
-func (a *Member) join(list *memberlist.Memberlist, peers []string) {
-	there := []string{list.LocalNode().Address()}
-	for _, n := range list.Members() {
-		there = append(there, n.Address())
+func (m *Member) join(cluster *memberlist.Memberlist, peers []string) {
+	present := []string{cluster.LocalNode().Address()}
+	for _, node := range cluster.Members() {
+		present = append(present, node.Address())
 	}
-	missing := slices.DeleteFunc(slices.Clone(peers), func(p string) bool { return slices.Contains(there, p) })
+	missing := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return slices.Contains(present, peer) })
 	if len(missing) > 0 {
-		_, _ = list.Join(missing) // memberlist logs who can't be reached; they are looked for again
+		_, _ = cluster.Join(missing) // memberlist logs who can't be reached; they are looked for again
 	}
 }
 
--- a/internal/fleet/gossip/member_test.go
+++ b/internal/fleet/gossip/member_test.go
@@ -16,55 +16,55 @@
 	"coralrelay/internal/fleet/quota"
 )
 
-var cfg = quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: time.Minute, RetryRatio: 0.1, MaxOutlierFraction: 1}
+var testQuotaConfig = quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: time.Minute, RetryRatio: 0.1, MaxOutlierFraction: 1}
 
-func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+func systemClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // free returns an address for TCP and UDP on which nobody listens.
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
 }
 
 // Members hear each other's reports, and nobody without the key; that many answer at once
 // while membership changes once held them all up for good.
-func TestMembersHearEachOther(t *testing.T) {
-	key := filepath.Join(t.TempDir(), "key")
-	if err := os.WriteFile(key, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
+func TestMembersWithKeyExchangeReports(t *testing.T) {
+	keyFile := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(keyFile, []byte(strings.Repeat("5a", 32)+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 8)
 	var peers []string
-	agents := map[string]*Member{}
+	members := map[string]*Member{}
 	for i, name := range []string{"a", "b", "c", "stranger"} {
-		at := free(t)
-		peers = append(peers, at)
-		a := NewMember(name, cfg, quota.Guards{}, clock)
-		agents[name] = a
-		g := Config{BindAddress: at, Peers: slices.Clone(peers), KeyFile: key, Unencrypted: name == "stranger", Interval: 20 * time.Millisecond, LogOutput: io.Discard}
-		go func() { ended <- a.Run(ctx, g) }()
+		address := freeAddress(t)
+		peers = append(peers, address)
+		member := NewMember(name, testQuotaConfig, quota.Guards{}, systemClock)
+		members[name] = member
+		lease := Config{BindAddress: address, Peers: slices.Clone(peers), KeyFile: keyFile, Unencrypted: name == "stranger", Interval: 20 * time.Millisecond, LogOutput: io.Discard}
+		go func() { ended <- member.Run(ctx, lease) }()
 		for range 2 { // two askers each
 			go func() {
 				for ctx.Err() == nil {
-					a.ReportSpending(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: fmt.Sprint("bad-", name == "stranger"), RecentAttempts: 5, RecentFailures: 5},
+					member.ReportQuotaUsage(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: fmt.Sprint("bad-", name == "stranger"), RecentAttempts: 5, RecentFailures: 5},
 						{ID: "cold", WarmingUp: true, ColdBudget: float64(i + 1), RecentAttempts: 1}}})
 				}
 			}()
 		}
 	}
 	for _, name := range []string{"a", "b", "c"} {
-		for begun := time.Now(); ; {
-			g := agents[name].ReportSpending(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: "bad-false", RecentAttempts: 5, RecentFailures: 5}}})
-			if g.RetryBudget > 1.5 && slices.Equal(g.EjectedServers, []string{"bad-false"}) {
+		for startedAt := time.Now(); ; {
+			lease := members[name].ReportQuotaUsage(balance.QuotaUsage{FirstAttempts: 10, Servers: []balance.ServerUsage{{ID: "bad-false", RecentAttempts: 5, RecentFailures: 5}}})
+			if lease.RetryBudget > 1.5 && slices.Equal(lease.EjectedServers, []string{"bad-false"}) {
 				break // its own tenth of 10, and a third of what the two others have left
 			}
-			if time.Since(begun) > 10*time.Second {
-				t.Fatalf("%s: %+v", name, g)
+			if time.Since(startedAt) > 10*time.Second {
+				t.Fatalf("%s: %+v", name, lease)
 			}
 		}
 	}
--- a/internal/fleet/gossip/roster.go
+++ b/internal/fleet/gossip/roster.go
@@ -14,13 +14,15 @@
 
 // place is what membership carries of a member, before it has said anything: memberlist
 // keeps it within 512 bytes.
-type place struct {
-	Zone   string `json:"zone,omitempty"`
-	Record string `json:"record,omitempty"`
+type nodeMetadata struct {
+	Zone          string `json:"zone,omitempty"`
+	ReplogAddress string `json:"record,omitempty"`
 }
 
 // sound tells whether it can be true: it comes from outside.
-func (p place) sound() bool { return len(p.Zone) <= longestZone && len(p.Record) <= 64 }
+func (p nodeMetadata) isValid() bool {
+	return len(p.Zone) <= maxZoneNameBytes && len(p.ReplogAddress) <= 64
+}
 
 // Standing is what is known of a member.
 type MemberInfo struct {
@@ -33,91 +35,91 @@
 }
 
 // Saw takes news of membership.
-func (a *Member) SetMemberStatus(name string, status quota.Status, meta []byte) {
-	var p place
-	if err := json.Unmarshal(meta, &p); len(meta) > 0 && err != nil || !p.sound() {
+func (m *Member) SetMemberStatus(name string, status quota.Status, meta []byte) {
+	var metadata nodeMetadata
+	if err := json.Unmarshal(meta, &metadata); len(meta) > 0 && err != nil || !metadata.isValid() {
 		slog.Warn("fleet: a member's place can't be read", "name", name, "err", err)
-		p = place{}
+		metadata = nodeMetadata{}
 	}
-	slog.Info("fleet: member", "name", name, "status", status, "zone", p.Zone)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.state.SetMemberStatus(a.clock(), name, status)
-	if _, known := a.state.Members()[name]; known && name != a.name {
-		a.places[name] = p
+	slog.Info("fleet: member", "name", name, "status", status, "zone", metadata.Zone)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.quotaState.SetMemberStatus(m.clock(), name, status)
+	if _, known := m.quotaState.Members()[name]; known && name != m.name {
+		m.metadata[name] = metadata
 	}
 }
 
 // forget drops what is known of members that share forgets.
-func (a *Member) forget(now time.Duration) {
-	a.state.RemoveExpired(now)
-	known := a.state.Members()
+func (m *Member) removeExpired(now time.Duration) {
+	m.quotaState.RemoveExpired(now)
+	known := m.quotaState.Members()
 	gone := func(name string) bool { _, ok := known[name]; return !ok }
-	maps.DeleteFunc(a.places, func(name string, _ place) bool { return gone(name) })
-	maps.DeleteFunc(a.words, func(name string, _ word) bool { return gone(name) })
-	maps.DeleteFunc(a.uses, func(name string, _ Usage) bool { return gone(name) })
-	maps.DeleteFunc(a.raw, func(name string, _ []byte) bool { return gone(name) })
+	maps.DeleteFunc(m.metadata, func(name string, _ nodeMetadata) bool { return gone(name) })
+	maps.DeleteFunc(m.reports, func(name string, _ report) bool { return gone(name) })
+	maps.DeleteFunc(m.usages, func(name string, _ Usage) bool { return gone(name) })
+	maps.DeleteFunc(m.encodedUsages, func(name string, _ []byte) bool { return gone(name) })
 }
 
 // Members returns all members, this one too, by name.
-func (a *Member) Members() (all []MemberInfo) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for name, status := range a.state.Members() {
-		m, w := MemberInfo{Name: name, Status: status}, a.words[name]
-		p := a.places[name]
-		if name == a.name {
-			p = place{a.Zone, a.ReplogAddress}
+func (m *Member) Members() (all []MemberInfo) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, status := range m.quotaState.Members() {
+		info, latest := MemberInfo{Name: name, Status: status}, m.reports[name]
+		metadata := m.metadata[name]
+		if name == m.name {
+			metadata = nodeMetadata{m.Zone, m.ReplogAddress}
 		}
-		m.Zone, m.ReplogAddress, m.LogIndex, m.ReportedAtMs = p.Zone, p.Record, w.Index, w.ReportedAt.Milliseconds()
-		all = append(all, m)
+		info.Zone, info.ReplogAddress, info.LogIndex, info.ReportedAtMs = metadata.Zone, metadata.ReplogAddress, latest.LogIndex, latest.ReportedAt.Milliseconds()
+		all = append(all, info)
 	}
 	slices.SortFunc(all, func(x, y MemberInfo) int { return cmp.Compare(x.Name, y.Name) })
 	return all
 }
 
 // Words returns what each member saw last of the zones, by name.
-func (a *Member) ZoneReports() (all []zonestatus.Report) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(a.words)) {
-		if w := a.words[name]; w.Zone != "" {
-			all = append(all, w.zones())
+func (m *Member) ZoneReports() (all []zonestatus.Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
+		if latest := m.reports[name]; latest.Zone != "" {
+			all = append(all, latest.zoneReport())
 		}
 	}
 	return all
 }
 
 // Own returns what this member's node saw last.
-func (a *Member) OwnZoneReport() zonestatus.Report {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	w := a.words[a.name]
-	w.Member, w.Zone = a.name, a.Zone
-	return w.zones()
+func (m *Member) OwnZoneReport() zonestatus.Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest := m.reports[m.name]
+	latest.Member, latest.Zone = m.name, m.Zone
+	return latest.zoneReport()
 }
 
 // zones is the evidence in a word.
-func (w word) zones() zonestatus.Report {
-	z := zonestatus.Report{Member: w.Member, Zone: w.Zone, ReportedAt: w.ReportedAt, Observations: make([]zonestatus.Observation, len(w.Sights))}
-	for i, s := range w.Sights {
-		z.Observations[i] = zonestatus.Observation(s)
+func (r report) zoneReport() zonestatus.Report {
+	result := zonestatus.Report{Member: r.Member, Zone: r.Zone, ReportedAt: r.ReportedAt, Observations: make([]zonestatus.Observation, len(r.Observations))}
+	for i, observation := range r.Observations {
+		result.Observations[i] = zonestatus.Observation(observation)
 	}
-	return z
+	return result
 }
 
 // all are the reports of all members, for one that has been cut off.
-func (a *Member) all() []byte {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+func (m *Member) encodeState() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	var reports []json.RawMessage
-	for _, name := range slices.Sorted(maps.Keys(a.words)) {
-		if raw := a.words[name].pack(); raw != nil {
+	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
+		if raw := m.reports[name].encode(); raw != nil {
 			reports = append(reports, raw)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(a.raw)) {
-		reports = append(reports, a.raw[name])
+	for _, name := range slices.Sorted(maps.Keys(m.encodedUsages)) {
+		reports = append(reports, m.encodedUsages[name])
 	}
 	raw, err := json.Marshal(reports)
 	if err != nil {
@@ -126,13 +128,13 @@
 	return raw
 }
 
-func (a *Member) hearAll(raw []byte) {
+func (m *Member) receiveState(raw []byte) {
 	var reports []json.RawMessage
 	if err := json.Unmarshal(raw, &reports); err != nil {
 		slog.Warn("fleet: a state that can't be read", "err", err)
 		return
 	}
-	for _, r := range reports {
-		a.Receive(r)
+	for _, encoded := range reports {
+		m.Receive(encoded)
 	}
 }
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -16,17 +16,17 @@
 //
 //	go test ./internal/fleet/gossip -run TestStored -update
 
-const storedNow = 1_700_000_000 * time.Second
+const storedClock = 1_700_000_000 * time.Second
 
-func storedReport() word {
-	return word{
+func storedReport() report {
+	return report{
 		Report: quota.Report{Member: "node-b", Incarnation: 101, Seq: 102, ReportedAt: 103, Period: 104, FirstAttempts: 105.5, Retries: 106.5,
 			Usages: []quota.Usage{
 				{Endpoint: quota.Endpoint{ID: "server-a", StartedAt: 107}, WarmingUp: true, Demand: 0.125, Spent: 108, PriorSpent: 109, Attempts: 110.5, FailedAttempts: 111.5},
 				{Endpoint: quota.ZoneKey("zone-a"), WarmingUp: true, Demand: 0.25, Spent: 112, PriorSpent: 113, Attempts: 114.5, FailedAttempts: 115.5},
 			}},
-		Zone: "zone-b", Index: 116,
-		Sights: []sight{
+		Zone: "zone-b", LogIndex: 116,
+		Observations: []zoneObservation{
 			{Zone: "zone-c", Endpoints: 30, Failing: 3, Attempted: 12, Attempts: 21.5, FailedAttempts: 7.25, Load: 0.375, WarmingUp: 4},
 			{Zone: "zone-d", Endpoints: 31, Failing: 5, Attempted: 13, Attempts: 22.5, FailedAttempts: 8.25, Load: 0.625, WarmingUp: 6},
 		},
@@ -34,10 +34,10 @@
 }
 
 // storedUsed is the datagram on accounts and, as a member takes it, the use in it.
-func storedUsed() (used, Usage) {
-	datagram := used{Member: "node-b", Half: 201, Paths: map[string]made{"acme": {202, 203, 204}, "acme/web:r": {205, 206, 207}}, Rest: made{208, 209, 210}}
+func storedUsage() (usageMessage, Usage) {
+	datagram := usageMessage{Member: "node-b", HalfEpoch: 201, Paths: map[string]usageCounters{"acme": {202, 203, 204}, "acme/web:r": {205, 206, 207}}, OmittedMax: usageCounters{208, 209, 210}}
 	return datagram, Usage{
-		Usage: account.Usage{Member: "node-b", ReportedAt: storedNow, HalfEpoch: 201, UsedBefore: map[string]account.Amounts{
+		Usage: account.Usage{Member: "node-b", ReportedAt: storedClock, HalfEpoch: 201, UsedBefore: map[string]account.Amounts{
 			"acme": {Setups: 202, Retries: 203, Probes: 204}, "acme/web:r": {Setups: 205, Retries: 206, Probes: 207}}},
 		OmittedMax: account.Amounts{Setups: 208, Retries: 209, Probes: 210},
 	}
@@ -45,50 +45,50 @@
 
 // storedMember has met node-b by its stored meta data.
 func storedMember(t *testing.T) *Member {
-	a := NewMember("node-a", cfg, quota.Guards{}, func() time.Duration { return storedNow })
-	want := place{Zone: "zone-b", Record: "127.0.0.1:1"}
+	member := NewMember("node-a", testQuotaConfig, quota.Guards{}, func() time.Duration { return storedClock })
+	want := nodeMetadata{Zone: "zone-b", ReplogAddress: "127.0.0.1:1"}
 	storedtest.AssertDistinctFields(t, want)
 	raw, err := json.Marshal(want)
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.SetMemberStatus("node-b", quota.Alive, storedtest.AssertFile(t, "meta.json", raw))
-	if got := a.places["node-b"]; got != want {
+	member.SetMemberStatus("node-b", quota.Alive, storedtest.AssertFile(t, "meta.json", raw))
+	if got := member.metadata["node-b"]; got != want {
 		t.Errorf("meta data is read as %+v, want %+v", got, want)
 	}
-	return a
+	return member
 }
 
-func wantStored(t *testing.T, a *Member) {
+func checkStored(t *testing.T, member *Member) {
 	t.Helper()
-	_, use := storedUsed()
-	if got, want := a.words["node-b"], storedReport(); !reflect.DeepEqual(got, want) {
+	_, usage := storedUsage()
+	if got, want := member.reports["node-b"], storedReport(); !reflect.DeepEqual(got, want) {
 		t.Errorf("the report is read as %+v, want %+v", got, want)
 	}
-	if got := a.uses["node-b"]; !reflect.DeepEqual(got, use) {
-		t.Errorf("the use of accounts is read as %+v, want %+v", got, use)
+	if got := member.usages["node-b"]; !reflect.DeepEqual(got, usage) {
+		t.Errorf("the use of accounts is read as %+v, want %+v", got, usage)
 	}
 }
 
 // Members of this version and of the one that wrote the files take each other's word: in
 // datagrams, and all at once from who was cut off.
 func TestStoredGossipIsReadAndWrittenAlike(t *testing.T) {
-	a, cutOff := storedMember(t), storedMember(t)
-	datagram, _ := storedUsed()
+	member, cutOff := storedMember(t), storedMember(t)
+	datagram, _ := storedUsage()
 	storedtest.AssertDistinctFields(t, storedReport())
 	storedtest.AssertDistinctFields(t, datagram)
-	a.Receive(storedtest.AssertFile(t, "report.json", storedReport().pack()))
-	a.Receive(storedtest.AssertFile(t, "used.json", datagram.pack()))
-	wantStored(t, a)
-	cutOff.hearAll(storedtest.AssertFile(t, "state.json", a.all()))
-	wantStored(t, cutOff)
+	member.Receive(storedtest.AssertFile(t, "report.json", storedReport().encode()))
+	member.Receive(storedtest.AssertFile(t, "used.json", datagram.encode()))
+	checkStored(t, member)
+	cutOff.receiveState(storedtest.AssertFile(t, "state.json", member.encodeState()))
+	checkStored(t, cutOff)
 }
 
-func TestStoredSampleIsHandedOn(t *testing.T) {
-	a := storedMember(t)
+func TestStoredDirectMessageIsDelivered(t *testing.T) {
+	member := storedMember(t)
 	var got []byte
-	a.OnMessage = func(message []byte) { got = bytes.Clone(message) }
-	(&delegate{agent: a}).NotifyMsg([]byte(`s{"member":"node-b"}`))
+	member.OnMessage = func(message []byte) { got = bytes.Clone(message) }
+	(&delegate{member: member}).NotifyMsg([]byte(`s{"member":"node-b"}`))
 	if want := `{"member":"node-b"}`; string(got) != want {
 		t.Errorf("handed on %q, want %q", got, want)
 	}
--- a/internal/fleet/gossip/uses.go
+++ b/internal/fleet/gossip/uses.go
@@ -13,23 +13,25 @@
 // used is what one member used of accounts in an epoch's first half, as it travels in the
 // second: the one time when others reckon with it. What it holds of a path is not changed
 // any more by then.
-type used struct {
-	Member string          `json:"used"`
-	Half   int64           `json:"half"`          // the second
-	Paths  map[string]made `json:"paths"`         // those used most
-	Rest   made            `json:"rest,omitzero"` // no path that is not named was used more than this
+type usageMessage struct {
+	Member     string                   `json:"used"`
+	HalfEpoch  int64                    `json:"half"`          // the second
+	Paths      map[string]usageCounters `json:"paths"`         // those used most
+	OmittedMax usageCounters            `json:"rest,omitzero"` // no path that is not named was used more than this
 }
 
 // made are set-ups, retries and probes.
-type made [3]float64
+type usageCounters [3]float64
 
 // usedBegins is how a datagram of it begins. Older members take it for an empty report.
-const usedBegins = `{"used":`
+const usageMessagePrefix = `{"used":`
 
-func madeOf(f account.Amounts) made { return made{f.Setups, f.Retries, f.Probes} }
+func newUsageCounters(amounts account.Amounts) usageCounters {
+	return usageCounters{amounts.Setups, amounts.Retries, amounts.Probes}
+}
 
-func (m made) figures() account.Amounts {
-	return account.Amounts{Setups: m[0], Retries: m[1], Probes: m[2]}
+func (c usageCounters) amounts() account.Amounts {
+	return account.Amounts{Setups: c[0], Retries: c[1], Probes: c[2]}
 }
 
 // Use is a member's word on what it uses. Where it was too long for a datagram, no path that
@@ -40,25 +42,25 @@
 }
 
 // pack writes it, with as many paths as fit a datagram.
-func (u used) pack() []byte {
-	order := slices.SortedFunc(maps.Keys(u.Paths), func(a, b string) int {
-		x, y := u.Paths[a], u.Paths[b]
+func (m usageMessage) encode() []byte {
+	order := slices.SortedFunc(maps.Keys(m.Paths), func(a, b string) int {
+		x, y := m.Paths[a], m.Paths[b]
 		return cmp.Or(cmp.Compare(y[0]+y[1]+y[2], x[0]+x[1]+x[2]), cmp.Compare(a, b))
 	})
-	for all := u.Paths; ; {
-		raw, err := json.Marshal(u)
-		if err != nil || len(raw) <= largest || len(order) == 0 {
+	for all := m.Paths; ; {
+		raw, err := json.Marshal(m)
+		if err != nil || len(raw) <= maxPayloadBytes || len(order) == 0 {
 			return raw
 		}
-		order = order[:len(order)*largest/len(raw)]
-		u.Paths, u.Rest = map[string]made{}, made{}
+		order = order[:len(order)*maxPayloadBytes/len(raw)]
+		m.Paths, m.OmittedMax = map[string]usageCounters{}, usageCounters{}
 		for _, path := range order {
-			u.Paths[path] = all[path]
+			m.Paths[path] = all[path]
 		}
-		for path, m := range all {
-			if _, ok := u.Paths[path]; !ok {
-				for i := range m {
-					u.Rest[i] = max(u.Rest[i], m[i])
+		for path, counters := range all {
+			if _, ok := m.Paths[path]; !ok {
+				for i := range counters {
+					m.OmittedMax[i] = max(m.OmittedMax[i], counters[i])
 				}
 			}
 		}
@@ -66,62 +68,62 @@
 }
 
 // Used takes what this member's node uses, and spreads what others are to know of it.
-func (a *Member) PublishUsage(u account.Usage) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	u.Member = a.name
-	was, known := a.uses[a.name]
-	a.uses[a.name] = Usage{Usage: u}
-	if u.HalfEpoch%2 == 0 || known && was.HalfEpoch == u.HalfEpoch && len(a.raw[a.name]) > 0 {
+func (m *Member) PublishUsage(usage account.Usage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	usage.Member = m.name
+	previous, known := m.usages[m.name]
+	m.usages[m.name] = Usage{Usage: usage}
+	if usage.HalfEpoch%2 == 0 || known && previous.HalfEpoch == usage.HalfEpoch && len(m.encodedUsages[m.name]) > 0 {
 		return
 	}
-	w := used{Member: a.name, Half: u.HalfEpoch, Paths: make(map[string]made, len(u.UsedBefore))}
-	for path, f := range u.UsedBefore {
-		if m := madeOf(f); m != (made{}) {
-			w.Paths[path] = m
+	message := usageMessage{Member: m.name, HalfEpoch: usage.HalfEpoch, Paths: make(map[string]usageCounters, len(usage.UsedBefore))}
+	for path, amounts := range usage.UsedBefore {
+		if counters := newUsageCounters(amounts); counters != (usageCounters{}) {
+			message.Paths[path] = counters
 		}
 	}
-	if raw := w.pack(); raw != nil {
-		a.raw[a.name] = raw
-		a.spread("used/"+a.name, raw)
+	if raw := message.encode(); raw != nil {
+		m.encodedUsages[m.name] = raw
+		m.enqueue("used/"+m.name, raw)
 	}
 }
 
 // hearUsed takes another member's word, under the lock, and tells whether it was news.
-func (a *Member) hearUsed(raw []byte) (name string, news bool, err error) {
-	var w used
-	if err := json.Unmarshal(raw, &w); err != nil {
+func (m *Member) mergeUsage(raw []byte) (name string, isNew bool, err error) {
+	var message usageMessage
+	if err := json.Unmarshal(raw, &message); err != nil {
 		return "", false, err
 	}
-	u := Usage{Usage: account.Usage{Member: w.Member, ReportedAt: a.clock(), HalfEpoch: w.Half, UsedBefore: make(map[string]account.Amounts, len(w.Paths))}, OmittedMax: w.Rest.figures()}
-	for path, m := range w.Paths {
-		u.UsedBefore[path] = m.figures()
+	usage := Usage{Usage: account.Usage{Member: message.Member, ReportedAt: m.clock(), HalfEpoch: message.HalfEpoch, UsedBefore: make(map[string]account.Amounts, len(message.Paths))}, OmittedMax: message.OmittedMax.amounts()}
+	for path, counters := range message.Paths {
+		usage.UsedBefore[path] = counters.amounts()
 	}
-	rest := account.Usage{Member: w.Member, UsedBefore: map[string]account.Amounts{"": u.OmittedMax}}
-	_, there := a.state.Members()[w.Member]
-	if old, ok := a.uses[w.Member]; !there || w.Member == a.name || ok && old.HalfEpoch >= u.HalfEpoch || !u.IsValid() || !rest.IsValid() {
+	omitted := account.Usage{Member: message.Member, UsedBefore: map[string]account.Amounts{"": usage.OmittedMax}}
+	_, alive := m.quotaState.Members()[message.Member]
+	if previous, ok := m.usages[message.Member]; !alive || message.Member == m.name || ok && previous.HalfEpoch >= usage.HalfEpoch || !usage.IsValid() || !omitted.IsValid() {
 		return "", false, nil
 	}
-	a.uses[w.Member], a.raw[w.Member] = u, slices.Clone(raw)
-	return "used/" + w.Member, true, nil
+	m.usages[message.Member], m.encodedUsages[message.Member] = usage, slices.Clone(raw)
+	return "used/" + message.Member, true, nil
 }
 
-func isUsed(raw []byte) bool { return bytes.HasPrefix(raw, []byte(usedBegins)) }
+func isUsageMessage(raw []byte) bool { return bytes.HasPrefix(raw, []byte(usageMessagePrefix)) }
 
 // Uses returns each member's last word on what it uses, by name.
-func (a *Member) Usages() (all []Usage) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(a.uses)) {
-		all = append(all, a.uses[name])
+func (m *Member) Usages() (all []Usage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(m.usages)) {
+		all = append(all, m.usages[name])
 	}
 	return all
 }
 
 // Holders are the members among whom limits are dealt, by name.
-func (a *Member) LeaseHolders() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.forget(a.clock())
-	return slices.Sorted(maps.Keys(a.state.Members()))
+func (m *Member) LeaseHolders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removeExpired(m.clock())
+	return slices.Sorted(maps.Keys(m.quotaState.Members()))
 }
--- a/internal/fleet/gossip/word.go
+++ b/internal/fleet/gossip/word.go
@@ -15,140 +15,142 @@
 
 const (
 	// largest is what one report may take of a datagram that others share.
-	largest = 1100
+	maxPayloadBytes = 1100
 	// mostZones and longestZone bound what a report says of zones, so that it fits in any case.
-	mostZones, longestZone = 12, 24
+	maxZones, maxZoneNameBytes = 12, 24
 	// failing is what one failure counts for a moment after it, as all that is of late fades.
-	failing = 0.5
+	minRecentFailures = 0.5
 	// asked is what has faded so far that it is not told any more.
-	asked = 0.1
+	minReportedAttempts = 0.1
 )
 
 // word is one member's report as it travels: what it has spent, and what its node saw. A
 // report without zone and sights is an older version's.
-type word struct {
+type report struct {
 	quota.Report
-	Zone   string  `json:"zone,omitempty"`
-	Index  uint64  `json:"index,omitempty"` // of the record that the member serves
-	Sights []sight `json:"sights,omitempty"`
+	Zone         string            `json:"zone,omitempty"`
+	LogIndex     uint64            `json:"index,omitempty"` // of the record that the member serves
+	Observations []zoneObservation `json:"sights,omitempty"`
 }
 
 // sight is a zone.Sight that is written as [to, servers, bad, tried, asked, failed, load, cold],
 // figures with three digits.
-type sight zonestatus.Observation
+type zoneObservation zonestatus.Observation
 
 // MarshalJSON writes it.
-func (s sight) MarshalJSON() ([]byte, error) {
-	to, err := json.Marshal(s.Zone)
+func (o zoneObservation) MarshalJSON() ([]byte, error) {
+	zone, err := json.Marshal(o.Zone)
 	if err != nil {
 		return nil, err
 	}
 	digits := func(x float64) string { return strconv.FormatFloat(x, 'g', 3, 64) }
-	return fmt.Appendf(nil, "[%s,%d,%d,%d,%s,%s,%s,%d]", to, s.Endpoints, s.Failing, s.Attempted, digits(s.Attempts), digits(s.FailedAttempts), digits(s.Load), s.WarmingUp), nil
+	return fmt.Appendf(nil, "[%s,%d,%d,%d,%s,%s,%s,%d]", zone, o.Endpoints, o.Failing, o.Attempted, digits(o.Attempts), digits(o.FailedAttempts), digits(o.Load), o.WarmingUp), nil
 }
 
 // UnmarshalJSON reads it.
-func (s *sight) UnmarshalJSON(raw []byte) error {
-	fields := []any{&s.Zone, &s.Endpoints, &s.Failing, &s.Attempted, &s.Attempts, &s.FailedAttempts, &s.Load, &s.WarmingUp}
-	n := len(fields)
+func (o *zoneObservation) UnmarshalJSON(raw []byte) error {
+	fields := []any{&o.Zone, &o.Endpoints, &o.Failing, &o.Attempted, &o.Attempts, &o.FailedAttempts, &o.Load, &o.WarmingUp}
+	want := len(fields)
 	if err := json.Unmarshal(raw, &fields); err != nil {
 		return err
 	}
-	if len(fields) != n {
-		return fmt.Errorf("a sight of %d fields, want %d", len(fields), n)
+	if len(fields) != want {
+		return fmt.Errorf("a sight of %d fields, want %d", len(fields), want)
 	}
 	return nil
 }
 
-func read(raw []byte) (w word, err error) {
-	err = json.Unmarshal(raw, &w)
-	return w, err
+func decodeReport(raw []byte) (decoded report, err error) {
+	err = json.Unmarshal(raw, &decoded)
+	return decoded, err
 }
 
 // sound tells whether what it says of zones can be true: it comes from outside.
-func (w *word) sound() bool {
+func (r *report) isValid() bool {
 	count := func(n int) bool { return n >= 0 && n <= 1e6 }
 	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return len(w.Zone) <= longestZone && len(w.Sights) <= mostZones && !slices.ContainsFunc(w.Sights, func(s sight) bool {
-		return s.Zone == "" || len(s.Zone) > longestZone || !count(s.Endpoints) || !count(s.Failing) || !count(s.Attempted) || !count(s.WarmingUp) ||
-			max(s.Failing, s.Attempted) > s.Endpoints ||
-			!good(s.Attempts) || !good(s.FailedAttempts) || s.FailedAttempts > s.Attempts || s.Load != -1 && !good(s.Load)
+	return len(r.Zone) <= maxZoneNameBytes && len(r.Observations) <= maxZones && !slices.ContainsFunc(r.Observations, func(observation zoneObservation) bool {
+		return observation.Zone == "" || len(observation.Zone) > maxZoneNameBytes || !count(observation.Endpoints) || !count(observation.Failing) || !count(observation.Attempted) || !count(observation.WarmingUp) ||
+			max(observation.Failing, observation.Attempted) > observation.Endpoints ||
+			!good(observation.Attempts) || !good(observation.FailedAttempts) || observation.FailedAttempts > observation.Attempts || observation.Load != -1 && !good(observation.Load)
 	})
 }
 
 // sights adds up by zones what a node saw of its next hops: of more zones than a report
 // takes, of those asked most. A next hop is bad where half of what it was asked has failed,
 // by this node's own doing: a verdict of others is no evidence from here.
-func sights(servers []balance.ServerUsage) []sight {
-	in := map[string]*sight{}
-	loads := map[string]int{}
-	for _, x := range servers {
-		if x.Zone == "" || len(x.Zone) > longestZone {
+func observeZones(servers []balance.ServerUsage) []zoneObservation {
+	byZone := map[string]*zoneObservation{}
+	loadCounts := map[string]int{}
+	for _, server := range servers {
+		if server.Zone == "" || len(server.Zone) > maxZoneNameBytes {
 			continue
 		}
-		s := in[x.Zone]
-		if s == nil {
-			s = &sight{Zone: x.Zone, Load: -1}
-			in[x.Zone] = s
+		observation := byZone[server.Zone]
+		if observation == nil {
+			observation = &zoneObservation{Zone: server.Zone, Load: -1}
+			byZone[server.Zone] = observation
 		}
-		s.Endpoints++
-		x.RecentAttempts = max(x.RecentAttempts, x.RecentFailures) // what ends late fades late
-		s.Attempts += x.RecentAttempts
-		s.FailedAttempts += x.RecentFailures
-		if x.RecentAttempts >= asked {
-			s.Attempted++
+		observation.Endpoints++
+		server.RecentAttempts = max(server.RecentAttempts, server.RecentFailures) // what ends late fades late
+		observation.Attempts += server.RecentAttempts
+		observation.FailedAttempts += server.RecentFailures
+		if server.RecentAttempts >= minReportedAttempts {
+			observation.Attempted++
 		}
-		if x.RecentFailures >= failing && 2*x.RecentFailures >= x.RecentAttempts {
-			s.Failing++
+		if server.RecentFailures >= minRecentFailures && 2*server.RecentFailures >= server.RecentAttempts {
+			observation.Failing++
 		}
-		if x.WarmingUp {
-			s.WarmingUp++
+		if server.WarmingUp {
+			observation.WarmingUp++
 		}
-		if x.Load >= 0 { // the mean, one by one
-			loads[x.Zone]++
-			s.Load = max(s.Load, 0) + (x.Load-max(s.Load, 0))/float64(loads[x.Zone])
+		if server.Load >= 0 { // the mean, one by one
+			loadCounts[server.Zone]++
+			observation.Load = max(observation.Load, 0) + (server.Load-max(observation.Load, 0))/float64(loadCounts[server.Zone])
 		}
 	}
-	all := make([]sight, 0, len(in))
-	for _, s := range in {
-		all = append(all, *s)
+	all := make([]zoneObservation, 0, len(byZone))
+	for _, observation := range byZone {
+		all = append(all, *observation)
 	}
-	slices.SortFunc(all, func(a, b sight) int { return cmp.Or(cmp.Compare(b.Attempts, a.Attempts), cmp.Compare(a.Zone, b.Zone)) })
-	all = all[:min(len(all), mostZones)]
-	slices.SortFunc(all, func(a, b sight) int { return cmp.Compare(a.Zone, b.Zone) })
+	slices.SortFunc(all, func(a, b zoneObservation) int {
+		return cmp.Or(cmp.Compare(b.Attempts, a.Attempts), cmp.Compare(a.Zone, b.Zone))
+	})
+	all = all[:min(len(all), maxZones)]
+	slices.SortFunc(all, func(a, b zoneObservation) int { return cmp.Compare(a.Zone, b.Zone) })
 	return all
 }
 
 // rank says how late a use is dropped: what was spent of tokens last, as silence would be
 // taken for nothing spent; before it what fails, and before that what was asked most.
-func rank(u quota.Usage) float64 {
+func retentionPriority(usage quota.Usage) float64 {
 	switch {
-	case u.WarmingUp || u.Spent+u.PriorSpent > 0:
+	case usage.WarmingUp || usage.Spent+usage.PriorSpent > 0:
 		return 2e9
-	case u.FailedAttempts > 0:
-		return 1e9 + u.FailedAttempts
+	case usage.FailedAttempts > 0:
+		return 1e9 + usage.FailedAttempts
 	}
-	return u.Attempts
+	return usage.Attempts
 }
 
 // pack writes a report, with as many uses as fit a datagram. What it says of zones fits
 // beside them unless their names are escaped at length: then the last by name are dropped.
-func (w word) pack() []byte {
-	w.Usages = slices.Clone(w.Usages)
-	slices.SortStableFunc(w.Usages, func(x, y quota.Usage) int { return cmp.Compare(rank(y), rank(x)) })
+func (r report) encode() []byte {
+	r.Usages = slices.Clone(r.Usages)
+	slices.SortStableFunc(r.Usages, func(x, y quota.Usage) int { return cmp.Compare(retentionPriority(y), retentionPriority(x)) })
 	for {
-		raw, err := json.Marshal(w)
+		raw, err := json.Marshal(r)
 		if err != nil { // no number that JSON can't write passes the module
 			slog.Error("fleet: report", "err", err)
 			return nil
 		}
 		switch {
-		case len(raw) <= largest || len(w.Usages)+len(w.Sights) == 0:
+		case len(raw) <= maxPayloadBytes || len(r.Usages)+len(r.Observations) == 0:
 			return raw
-		case len(w.Usages) > 0:
-			w.Usages = w.Usages[:len(w.Usages)*largest/len(raw)]
+		case len(r.Usages) > 0:
+			r.Usages = r.Usages[:len(r.Usages)*maxPayloadBytes/len(raw)]
 		default:
-			w.Sights = w.Sights[:len(w.Sights)-1]
+			r.Observations = r.Observations[:len(r.Observations)-1]
 		}
 	}
 }
--- a/internal/fleet/gossip/word_test.go
+++ b/internal/fleet/gossip/word_test.go
@@ -12,19 +12,19 @@
 
 // What is dropped of a report that does not fit is what was asked least; what was spent of
 // tokens and what was seen of 12 zones stays.
-func TestReportsFitADatagram(t *testing.T) {
-	w := word{Report: quota.Report{Member: strings.Repeat("n", 64), Incarnation: 1.7e18, Seq: 1e9, ReportedAt: 1.7e18, Period: 2e9}, Zone: strings.Repeat("z", longestZone), Index: 1e9}
+func TestReportFitsOneMessage(t *testing.T) {
+	oversized := report{Report: quota.Report{Member: strings.Repeat("n", 64), Incarnation: 1.7e18, Seq: 1e9, ReportedAt: 1.7e18, Period: 2e9}, Zone: strings.Repeat("z", maxZoneNameBytes), LogIndex: 1e9}
 	var servers []balance.ServerUsage
 	for i := range 500 {
-		u := quota.Usage{Endpoint: quota.Endpoint{ID: fmt.Sprintf("s-%08x", i), StartedAt: 1_700_000_000_000}, Attempts: float64(i)}
-		u.WarmingUp, u.FailedAttempts = i == 7, float64(i%100/99)
-		w.Usages = append(w.Usages, u)
-		servers = append(servers, balance.ServerUsage{ID: u.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), RecentAttempts: 12.3456789, RecentFailures: 1.0 / 3, Load: 1.0 / 7})
+		usage := quota.Usage{Endpoint: quota.Endpoint{ID: fmt.Sprintf("s-%08x", i), StartedAt: 1_700_000_000_000}, Attempts: float64(i)}
+		usage.WarmingUp, usage.FailedAttempts = i == 7, float64(i%100/99)
+		oversized.Usages = append(oversized.Usages, usage)
+		servers = append(servers, balance.ServerUsage{ID: usage.ID, Zone: fmt.Sprintf("a-zone-of-a-long-name-%02d", i%14), RecentAttempts: 12.3456789, RecentFailures: 1.0 / 3, Load: 1.0 / 7})
 	}
-	w.Usages = append(w.Usages, quota.Usage{Endpoint: quota.ZoneKey("b"), Spent: 3})
-	w.Sights = sights(servers)
-	raw := w.pack()
-	if len(raw) > largest {
+	oversized.Usages = append(oversized.Usages, quota.Usage{Endpoint: quota.ZoneKey("b"), Spent: 3})
+	oversized.Observations = observeZones(servers)
+	raw := oversized.encode()
+	if len(raw) > maxPayloadBytes {
 		t.Errorf("%d bytes", len(raw))
 	}
 	for _, want := range []string{"s-00000007", `"id":"b","started":-1,"spent":3`, `["a-zone-of-a-long-name-00",36,0,36,444,12,0.143,0]`} {
@@ -32,28 +32,28 @@
 			t.Errorf("%s is not in %s", want, raw)
 		}
 	}
-	if got, err := read(raw); err != nil || len(got.Sights) != mostZones || !got.sound() {
+	if got, err := decodeReport(raw); err != nil || len(got.Observations) != maxZones || !got.isValid() {
 		t.Errorf("%+v, %v", got, err)
 	}
-	for i := range w.Sights {
-		w.Sights[i].Zone = strings.Repeat("\x01", longestZone) // six bytes each
+	for i := range oversized.Observations {
+		oversized.Observations[i].Zone = strings.Repeat("\x01", maxZoneNameBytes) // six bytes each
 	}
-	if raw := w.pack(); len(raw) > largest {
+	if raw := oversized.encode(); len(raw) > maxPayloadBytes {
 		t.Errorf("%d bytes of zones with odd names", len(raw))
 	}
 }
 
-func TestSights(t *testing.T) {
-	got := sights([]balance.ServerUsage{
+func TestObserveZonesSumsEndpointsByZone(t *testing.T) {
+	got := observeZones([]balance.ServerUsage{
 		{ID: "1", Zone: "b", Load: 0.5, RecentAttempts: 1.5, RecentFailures: 4}, {ID: "2", Zone: "b", Load: -1, RecentAttempts: 4, RecentFailures: 1, WarmingUp: true},
 		{ID: "3", Zone: "b", Load: 0.25, RecentAttempts: 0.4, RecentFailures: 0.4}, {ID: "4", Zone: "a", Load: -1}, {ID: "5"}})
-	if want := []sight{{Zone: "a", Endpoints: 1, Load: -1}, {Zone: "b", Endpoints: 3, Failing: 1, Attempted: 3, Attempts: 8.4, FailedAttempts: 5.4, Load: 0.375, WarmingUp: 1}}; !reflect.DeepEqual(got, want) {
+	if want := []zoneObservation{{Zone: "a", Endpoints: 1, Load: -1}, {Zone: "b", Endpoints: 3, Failing: 1, Attempted: 3, Attempts: 8.4, FailedAttempts: 5.4, Load: 0.375, WarmingUp: 1}}; !reflect.DeepEqual(got, want) {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
 
 // A report of an older version is read; one that can't be true is not taken, whoever says it.
-func TestHear(t *testing.T) {
+func TestReceiveRejectsInvalidReports(t *testing.T) {
 	for raw, zones := range map[string]int{
 		`{"member":"n2","boot":1,"seq":1,"firsts":3}`:                                                  0,
 		`{"member":"n2","boot":1,"seq":1,"firsts":3,"zone":"a","sights":[["b",4,1,3,9,2.5,-1,0]]}`:     1,
@@ -65,16 +65,16 @@
 		`{"member":"stranger","boot":1,"seq":1,"firsts":3,"zone":"a"}`:                                 -1,
 		`{"member":`: -1,
 	} {
-		a := NewMember("n1", cfg, quota.Guards{}, clock)
-		a.Receive([]byte(raw)) // before it is known who that is
-		a.SetMemberStatus("n2", quota.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
-		a.Receive([]byte(raw))
-		a.Receive([]byte(raw))
-		if got := len(a.words) - 1; got != min(zones, 0) || len(a.ZoneReports()) != max(zones, 0) {
-			t.Errorf("%s: %d words, %v", raw, len(a.words), a.ZoneReports())
+		member := NewMember("n1", testQuotaConfig, quota.Guards{}, systemClock)
+		member.Receive([]byte(raw)) // before it is known who that is
+		member.SetMemberStatus("n2", quota.Alive, []byte(`{"zone":"a","record":"127.0.0.1:1"}`))
+		member.Receive([]byte(raw))
+		member.Receive([]byte(raw))
+		if got := len(member.reports) - 1; got != min(zones, 0) || len(member.ZoneReports()) != max(zones, 0) {
+			t.Errorf("%s: %d words, %v", raw, len(member.reports), member.ZoneReports())
 		}
-		if m := a.Members(); len(m) != 2 || m[1].Zone != "a" || m[1].ReplogAddress != "127.0.0.1:1" {
-			t.Errorf("%+v", m)
+		if members := member.Members(); len(members) != 2 || members[1].Zone != "a" || members[1].ReplogAddress != "127.0.0.1:1" {
+			t.Errorf("%+v", members)
 		}
 	}
 }
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -43,7 +43,7 @@
 				for _, id := range accused {
 					sp.Servers = append(sp.Servers, balance.ServerUsage{ID: id, RecentAttempts: 50, RecentFailures: 50})
 				}
-				a.ReportSpending(sp)
+				a.ReportQuotaUsage(sp)
 			}
 		})
 		return nil
