--- a/internal/fleet/agentapi/agent.go
+++ b/internal/fleet/agentapi/agent.go
@@ -21,18 +21,18 @@
 const (
 	// mostConnections are served at once: a node has one, and for a moment a second while
 	// it makes it anew, and an operator's lasts for one ask.
-	mostConnections = 8
+	maxConnections = 8
 	// silent is how long a connection may say nothing.
-	silent = 10 * time.Second
+	idleTimeout = 10 * time.Second
 )
 
 // Serve answers on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, a Agent) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+func Serve(ctx context.Context, listener net.Listener, a Agent) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	room := make(chan struct{}, mostConnections)
+	slots := make(chan struct{}, maxConnections)
 	for {
-		conn, err := l.Accept()
+		conn, err := listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -40,62 +40,62 @@
 			return err
 		}
 		select {
-		case room <- struct{}{}:
+		case slots <- struct{}{}:
 		default:
 			_ = conn.Close()
 			continue
 		}
 		go func() {
-			defer func() { _ = conn.Close(); <-room }()
+			defer func() { _ = conn.Close(); <-slots }()
 			end := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer end()
-			converse(ctx, conn, a)
+			serveConn(ctx, conn, a)
 		}()
 	}
 }
 
 // converse answers one connection until it breaks off, or has asked as an operator.
-func converse(ctx context.Context, conn net.Conn, a Agent) {
-	in := lines(conn)
+func serveConn(ctx context.Context, conn net.Conn, agent Agent) {
+	scanner := newLineScanner(conn)
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(silent))
+		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var line struct {
 			Report
 			OperatorRequest
 		}
-		if !in.Scan() {
+		if !scanner.Scan() {
 			return
 		}
-		if err := json.Unmarshal(in.Bytes(), &line); err != nil {
-			_ = write(conn, &CallError{Message: fmt.Sprintf("the line can't be read: %v", err)})
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			_ = writeLine(conn, &CallError{Message: fmt.Sprintf("the line can't be read: %v", err)})
 			return
 		}
 		if line.OperatorRequest.Method == "" {
-			if write(conn, a.HandleReport(line.Report)) != nil {
+			if writeLine(conn, agent.HandleReport(line.Report)) != nil {
 				return
 			}
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, answering/2)
-		answer, err := a.HandleOperator(ctx, line.OperatorRequest)
+		ctx, cancel := context.WithTimeout(ctx, operatorTimeout/2)
+		answer, err := agent.HandleOperator(ctx, line.OperatorRequest)
 		cancel()
 		if err != nil {
-			answer = refused(err)
+			answer = asCallError(err)
 		}
-		_ = write(conn, answer)
+		_ = writeLine(conn, answer)
 		return
 	}
 }
 
-func refused(err error) *CallError {
-	var no *CallError
-	if errors.As(err, &no) {
-		return no
+func asCallError(err error) *CallError {
+	var callError *CallError
+	if errors.As(err, &callError) {
+		return callError
 	}
 	return &CallError{Message: err.Error()}
 }
 
-func write(conn net.Conn, answer any) error {
-	_ = conn.SetWriteDeadline(time.Now().Add(patience))
-	return json.NewEncoder(conn).Encode(answer)
+func writeLine(conn net.Conn, message any) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(responseTimeout))
+	return json.NewEncoder(conn).Encode(message)
 }
--- a/internal/fleet/agentapi/node.go
+++ b/internal/fleet/agentapi/node.go
@@ -22,18 +22,18 @@
 }
 
 // Run asks until ctx ends.
-func (l *Client) Run(ctx context.Context) {
+func (c *Client) Run(ctx context.Context) {
 	tick := time.NewTicker(ReportInterval)
 	defer tick.Stop()
-	for up := true; ; {
-		err := l.talk(ctx, tick, func() { up = true })
+	for connected := true; ; {
+		err := c.converse(ctx, tick, func() { connected = true })
 		if ctx.Err() != nil {
 			return
 		}
-		if up {
-			l.OnDisconnect(fmt.Errorf("fleet agent %s: %w", l.Addr, err))
+		if connected {
+			c.OnDisconnect(fmt.Errorf("fleet agent %s: %w", c.Addr, err))
 		}
-		up = false
+		connected = false
 		select {
 		case <-ctx.Done():
 			return
@@ -43,29 +43,29 @@
 }
 
 // talk asks over one connection until it breaks.
-func (l *Client) talk(ctx context.Context, tick *time.Ticker, up func()) error {
-	conn, err := (&net.Dialer{Timeout: patience}).DialContext(ctx, "tcp", l.Addr)
+func (c *Client) converse(ctx context.Context, tick *time.Ticker, connected func()) error {
+	conn, err := (&net.Dialer{Timeout: responseTimeout}).DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	in := lines(conn)
+	scanner := newLineScanner(conn)
 	for {
-		if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		if err := conn.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
 			return err
 		}
-		if err := json.NewEncoder(conn).Encode(l.MakeReport()); err != nil {
+		if err := json.NewEncoder(conn).Encode(c.MakeReport()); err != nil {
 			return err
 		}
-		var t Response
-		if err := next(in, &t); err != nil {
+		var response Response
+		if err := readLine(scanner, &response); err != nil {
 			return err
 		}
-		up()
-		l.HandleResponse(t)
-		if t.More && ctx.Err() == nil {
+		connected()
+		c.HandleResponse(response)
+		if response.More && ctx.Err() == nil {
 			continue
 		}
 		select {
--- a/internal/fleet/agentapi/parts.go
+++ b/internal/fleet/agentapi/parts.go
@@ -15,68 +15,68 @@
 
 // TableParts cuts news of a table into parts, at least one. All have its head, and together
 // they are it.
-func SplitTable(w route.Update, most int) []route.Update {
-	head := route.Update{Index: w.Index, Complete: w.Complete, BaseIndex: w.BaseIndex}
+func SplitTable(update route.Update, maxBytes int) []route.Update {
+	head := route.Update{Index: update.Index, Complete: update.Complete, BaseIndex: update.BaseIndex}
 	parts, size := []route.Update{head}, 0
-	parts[0].ReadyEndpoints = w.ReadyEndpoints
-	at := func(item any) *route.Update {
-		n := sizeOf(item)
-		if size > 0 && size+n > most {
+	parts[0].ReadyEndpoints = update.ReadyEndpoints
+	partFor := func(item any) *route.Update {
+		itemSize := sizeOf(item)
+		if size > 0 && size+itemSize > maxBytes {
 			parts, size = append(parts, head), 0
 		}
-		size += n
+		size += itemSize
 		return &parts[len(parts)-1]
 	}
-	for _, e := range w.Set {
-		p := at(e)
-		p.Set = append(p.Set, e)
+	for _, entry := range update.Set {
+		part := partFor(entry)
+		part.Set = append(part.Set, entry)
 	}
-	for _, path := range w.Removed {
-		p := at(path)
-		p.Removed = append(p.Removed, path)
+	for _, path := range update.Removed {
+		part := partFor(path)
+		part.Removed = append(part.Removed, path)
 	}
-	for _, a := range w.Allocations {
-		p := at(a)
-		p.Allocations = append(p.Allocations, a)
+	for _, allocation := range update.Allocations {
+		part := partFor(allocation)
+		part.Allocations = append(part.Allocations, allocation)
 	}
 	return parts
 }
 
 // join puts a further part to what came before it.
-func join(w, part route.Update) route.Update {
-	w.Set, w.Removed, w.Allocations = append(w.Set, part.Set...), append(w.Removed, part.Removed...), append(w.Allocations, part.Allocations...)
-	return w
+func appendPart(update, part route.Update) route.Update {
+	update.Set, update.Removed, update.Allocations = append(update.Set, part.Set...), append(update.Removed, part.Removed...), append(update.Allocations, part.Allocations...)
+	return update
 }
 
 // RightsParts cuts rights into parts, at least one.
-func SplitLease(r account.QuotaLease, most int) []account.QuotaLease {
-	head := r
+func SplitLease(lease account.QuotaLease, maxBytes int) []account.QuotaLease {
+	head := lease
 	head.Allocated, head.EvenShares = nil, nil
 	parts, size := []account.QuotaLease{head}, 0
-	at := func(path string, f account.Amounts) *account.QuotaLease {
-		n := sizeOf(path) + sizeOf(f)
-		if size > 0 && size+n > most {
+	partFor := func(path string, amounts account.Amounts) *account.QuotaLease {
+		itemSize := sizeOf(path) + sizeOf(amounts)
+		if size > 0 && size+itemSize > maxBytes {
 			parts, size = append(parts, head), 0
 		}
-		size += n
+		size += itemSize
 		return &parts[len(parts)-1]
 	}
-	for _, path := range slices.Sorted(maps.Keys(r.Allocated)) {
-		p := at(path, r.Allocated[path])
-		put(&p.Allocated, path, r.Allocated[path])
+	for _, path := range slices.Sorted(maps.Keys(lease.Allocated)) {
+		part := partFor(path, lease.Allocated[path])
+		putAmounts(&part.Allocated, path, lease.Allocated[path])
 	}
-	for _, path := range slices.Sorted(maps.Keys(r.EvenShares)) {
-		p := at(path, r.EvenShares[path])
-		put(&p.EvenShares, path, r.EvenShares[path])
+	for _, path := range slices.Sorted(maps.Keys(lease.EvenShares)) {
+		part := partFor(path, lease.EvenShares[path])
+		putAmounts(&part.EvenShares, path, lease.EvenShares[path])
 	}
 	return parts
 }
 
-func put(m *map[string]account.Amounts, path string, f account.Amounts) {
-	if *m == nil {
-		*m = map[string]account.Amounts{}
+func putAmounts(byPath *map[string]account.Amounts, path string, amounts account.Amounts) {
+	if *byPath == nil {
+		*byPath = map[string]account.Amounts{}
 	}
-	(*m)[path] = f
+	(*byPath)[path] = amounts
 }
 
 func sizeOf(item any) int {
@@ -90,62 +90,62 @@
 // Gathering puts the parts of tables and rights together, on the node's side. Its zero value
 // has nothing.
 type Reassembler struct {
-	index  uint64 // of the table that is gathered
-	table  route.Update
-	parts  int
-	deal   uint64
-	rights account.QuotaLease
-	pieces int
-	even   map[string]account.Amounts // of the last deal that is whole,
-	whole  uint64                     // and its number
+	tableIndex          uint64 // of the table that is gathered
+	table               route.Update
+	tableParts          int
+	leaseNumber         uint64
+	lease               account.QuotaLease
+	leaseParts          int
+	evenShares          map[string]account.Amounts // of the last deal that is whole,
+	completeLeaseNumber uint64                     // and its number
 }
 
 // Say tells the agent what there is already.
-func (g *Reassembler) FillProgress(s *Report) {
-	s.PartialTableIndex, s.TablePartsReceived, s.LeaseNumber, s.LeasePartsReceived = g.index, g.parts, g.deal, g.pieces
-	s.CompleteLeaseNumber = g.whole
+func (r *Reassembler) FillProgress(report *Report) {
+	report.PartialTableIndex, report.TablePartsReceived, report.LeaseNumber, report.LeasePartsReceived = r.tableIndex, r.tableParts, r.leaseNumber, r.leaseParts
+	report.CompleteLeaseNumber = r.completeLeaseNumber
 }
 
 // Table takes an answer's part of a table, and returns the news of it once it is whole.
-func (g *Reassembler) AddTable(t *Response) (route.Update, bool) {
+func (r *Reassembler) AddTable(response *Response) (route.Update, bool) {
 	switch {
-	case t.Table == nil:
+	case response.Table == nil:
 		return route.Update{}, false
-	case g.parts > 0 && t.Table.Index == g.index:
-		g.table = join(g.table, *t.Table)
+	case r.tableParts > 0 && response.Table.Index == r.tableIndex:
+		r.table = appendPart(r.table, *response.Table)
 	default:
-		g.index, g.table, g.parts = t.Table.Index, *t.Table, 0
+		r.tableIndex, r.table, r.tableParts = response.Table.Index, *response.Table, 0
 	}
-	if g.parts++; g.parts < t.TableParts {
+	if r.tableParts++; r.tableParts < response.TableParts {
 		return route.Update{}, false
 	}
-	w := g.table
-	g.index, g.table, g.parts = 0, route.Update{}, 0
-	return w, true
+	update := r.table
+	r.tableIndex, r.table, r.tableParts = 0, route.Update{}, 0
+	return update, true
 }
 
 // Rights takes an answer's part of rights, and returns them once they are whole.
-func (g *Reassembler) AddLease(t *Response) (account.QuotaLease, bool) {
+func (r *Reassembler) AddLease(response *Response) (account.QuotaLease, bool) {
 	switch {
-	case t.Lease == nil:
+	case response.Lease == nil:
 		return account.QuotaLease{}, false
-	case g.pieces > 0 && t.LeaseNumber == g.deal:
+	case r.leaseParts > 0 && response.LeaseNumber == r.leaseNumber:
 	default:
-		g.deal, g.pieces = t.LeaseNumber, 0
-		g.rights = *t.Lease
-		g.rights.Allocated, g.rights.EvenShares = map[string]account.Amounts{}, nil
+		r.leaseNumber, r.leaseParts = response.LeaseNumber, 0
+		r.lease = *response.Lease
+		r.lease.Allocated, r.lease.EvenShares = map[string]account.Amounts{}, nil
 	}
-	maps.Copy(g.rights.Allocated, t.Lease.Allocated)
-	for path, f := range t.Lease.EvenShares {
-		put(&g.rights.EvenShares, path, f)
+	maps.Copy(r.lease.Allocated, response.Lease.Allocated)
+	for path, amounts := range response.Lease.EvenShares {
+		putAmounts(&r.lease.EvenShares, path, amounts)
 	}
-	if g.pieces++; g.pieces < t.LeaseParts {
+	if r.leaseParts++; r.leaseParts < response.LeaseParts {
 		return account.QuotaLease{}, false
 	}
-	r := g.rights
-	if r.EvenShares == nil {
-		r.EvenShares = g.even
+	lease := r.lease
+	if lease.EvenShares == nil {
+		lease.EvenShares = r.evenShares
 	}
-	g.even, g.whole, g.rights = r.EvenShares, g.deal, account.QuotaLease{}
-	return r, true
+	r.evenShares, r.completeLeaseNumber, r.lease = lease.EvenShares, r.leaseNumber, account.QuotaLease{}
+	return lease, true
 }
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -19,7 +19,7 @@
 //
 //	go test ./internal/fleet/agentapi -run TestStored -update
 
-func storedSaid() Report {
+func storedReport() Report {
 	return Report{
 		QuotaUsage: balance.QuotaUsage{
 			Period: 101, FirstAttempts: 102.5, Retries: 103.5,
@@ -39,7 +39,7 @@
 	}
 }
 
-func storedTold() Response {
+func storedResponse() Response {
 	returned, retry := true, true
 	return Response{
 		QuotaLease: balance.QuotaLease{
@@ -64,11 +64,11 @@
 	}
 }
 
-func storedAsk() OperatorRequest {
+func storedRequest() OperatorRequest {
 	return OperatorRequest{Method: "propose", Entry: json.RawMessage(`{"kind":"accounts","by":"","at":301,"body":{}}`)}
 }
 
-func storedRefusal() CallError {
+func storedCallError() CallError {
 	return CallError{Message: "what became of it is not known", OutcomeUnknown: true}
 }
 
@@ -83,45 +83,45 @@
 }
 
 func TestStoredLinesAreReadAndWrittenAlike(t *testing.T) {
-	storedtest.AssertJSON(t, "said.json", storedSaid())
-	storedtest.AssertJSON(t, "told.json", storedTold())
-	storedtest.AssertJSON(t, "ask.json", storedAsk())
-	storedtest.AssertJSON(t, "refusal.json", storedRefusal())
+	storedtest.AssertJSON(t, "said.json", storedReport())
+	storedtest.AssertJSON(t, "told.json", storedResponse())
+	storedtest.AssertJSON(t, "ask.json", storedRequest())
+	storedtest.AssertJSON(t, "refusal.json", storedCallError())
 	storedtest.AssertJSON(t, "state.json", storedState())
 }
 
 // storedAgent takes the stored lines alone, and answers with stored ones.
 type storedAgent struct{ t *testing.T }
 
-func (a storedAgent) HandleReport(said Report) Response {
-	if want := storedSaid(); !reflect.DeepEqual(said, want) {
-		a.t.Errorf("a node's line is read as %+v, want %+v", said, want)
+func (a storedAgent) HandleReport(report Report) Response {
+	if want := storedReport(); !reflect.DeepEqual(report, want) {
+		a.t.Errorf("a node's line is read as %+v, want %+v", report, want)
 	}
-	return storedTold()
+	return storedResponse()
 }
 
-func (a storedAgent) HandleOperator(_ context.Context, ask OperatorRequest) (any, error) {
-	if want := storedAsk(); !reflect.DeepEqual(ask, want) {
-		a.t.Errorf("an operator's line is read as %+v, want %+v", ask, want)
+func (a storedAgent) HandleOperator(_ context.Context, request OperatorRequest) (any, error) {
+	if want := storedRequest(); !reflect.DeepEqual(request, want) {
+		a.t.Errorf("an operator's line is read as %+v, want %+v", request, want)
 	}
-	refusal := storedRefusal()
-	return nil, &refusal
+	callError := storedCallError()
+	return nil, &callError
 }
 
 // The agent tells nodes' lines from operators' by what stands in them.
-func TestStoredConversation(t *testing.T) {
-	caller, agent := net.Pipe()
-	defer func() { _ = caller.Close() }()
-	go converse(t.Context(), agent, storedAgent{t})
-	answers := bufio.NewReader(caller)
+func TestStoredLinesAreServed(t *testing.T) {
+	client, agent := net.Pipe()
+	defer func() { _ = client.Close() }()
+	go serveConn(t.Context(), agent, storedAgent{t})
+	responses := bufio.NewReader(client)
 	for _, exchange := range []struct{ line, answer []byte }{
-		{storedtest.AssertJSON(t, "said.json", storedSaid()), storedtest.AssertJSON(t, "told.json", storedTold())},
-		{storedtest.AssertJSON(t, "ask.json", storedAsk()), storedtest.AssertJSON(t, "refusal.json", storedRefusal())},
+		{storedtest.AssertJSON(t, "said.json", storedReport()), storedtest.AssertJSON(t, "told.json", storedResponse())},
+		{storedtest.AssertJSON(t, "ask.json", storedRequest()), storedtest.AssertJSON(t, "refusal.json", storedCallError())},
 	} {
-		if _, err := caller.Write(exchange.line); err != nil {
+		if _, err := client.Write(exchange.line); err != nil {
 			t.Fatal(err)
 		}
-		if answer, err := answers.ReadBytes('\n'); err != nil || string(answer) != string(exchange.answer) {
+		if answer, err := responses.ReadBytes('\n'); err != nil || string(answer) != string(exchange.answer) {
 			t.Errorf("%s is answered with %s, %v, want %s", exchange.line, answer, err, exchange.answer)
 		}
 	}
--- a/internal/fleet/agentapi/wire.go
+++ b/internal/fleet/agentapi/wire.go
@@ -22,7 +22,7 @@
 const MaxLineBytes = 2 << 20
 
 // patience is how long an answer may take before the node connects anew.
-const patience = time.Second
+const responseTimeout = time.Second
 
 // Said is what a node tells its agent, and Told what it is answered. An end that does not
 // know a field leaves it out or passes over it.
@@ -68,33 +68,33 @@
 	OutcomeUnknown bool   `json:"unknown,omitempty"` // what was asked may have been done, or may yet be
 }
 
-func (r *CallError) Error() string { return r.Message }
+func (e *CallError) Error() string { return e.Message }
 
 // answering is how long the agent may take for an operator's answer: a record without a
 // leader needs some seconds to say so.
-const answering = 10 * time.Second
+const operatorTimeout = 10 * time.Second
 
 // Call asks the agent at addr and reads its answer into into. What the
 // agent refuses is a *Refusal.
-func Call(addr string, ask, into any) error {
-	conn, err := net.DialTimeout("tcp", addr, patience)
+func Call(addr string, request, into any) error {
+	conn, err := net.DialTimeout("tcp", addr, responseTimeout)
 	if err != nil {
 		return fmt.Errorf("fleet agent: %w", err)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(answering)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(operatorTimeout)); err != nil {
 		return err
 	}
-	if err := json.NewEncoder(conn).Encode(ask); err != nil {
+	if err := json.NewEncoder(conn).Encode(request); err != nil {
 		return fmt.Errorf("fleet agent %s: %w", addr, err)
 	}
 	var raw json.RawMessage
-	if err := next(lines(conn), &raw); err != nil {
+	if err := readLine(newLineScanner(conn), &raw); err != nil {
 		return fmt.Errorf("fleet agent %s: %w", addr, err)
 	}
-	var no CallError
-	if err := json.Unmarshal(raw, &no); err == nil && no.Message != "" {
-		return &no
+	var callError CallError
+	if err := json.Unmarshal(raw, &callError); err == nil && callError.Message != "" {
+		return &callError
 	}
 	if err := json.Unmarshal(raw, into); err != nil {
 		return fmt.Errorf("fleet agent %s: %w", addr, err)
@@ -102,18 +102,18 @@
 	return nil
 }
 
-func lines(conn net.Conn) *bufio.Scanner {
-	s := bufio.NewScanner(conn)
-	s.Buffer(make([]byte, 0, 4096), MaxLineBytes)
-	return s
+func newLineScanner(conn net.Conn) *bufio.Scanner {
+	scanner := bufio.NewScanner(conn)
+	scanner.Buffer(make([]byte, 0, 4096), MaxLineBytes)
+	return scanner
 }
 
-func next(s *bufio.Scanner, into any) error {
-	if !s.Scan() {
-		if s.Err() != nil {
-			return s.Err()
+func readLine(scanner *bufio.Scanner, into any) error {
+	if !scanner.Scan() {
+		if scanner.Err() != nil {
+			return scanner.Err()
 		}
 		return errors.New("closed")
 	}
-	return json.Unmarshal(s.Bytes(), into)
+	return json.Unmarshal(scanner.Bytes(), into)
 }
