--- a/internal/keyfile/authority.go
+++ b/internal/keyfile/authority.go
@@ -13,7 +13,7 @@
 	"strings"
 )
 
-const authorityHead = "coralrelay-authority-key-1"
+const authorityHeader = "coralrelay-authority-key-1"
 
 // NewAuthority writes a fresh Ed25519 key that signs changes of accounts into a file of that
 // name, which must not exist, and returns its path and public key. Folders of resume keys
@@ -27,19 +27,19 @@
 		return "", nil, err
 	}
 	path = filepath.Join(folder, name)
-	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
 		return "", nil, err
 	}
-	_, err = fmt.Fprintf(f, "%s\nkind ed25519\npublic %s\nsecret %s\n", authorityHead,
+	_, err = fmt.Fprintf(file, "%s\nkind ed25519\npublic %s\nsecret %s\n", authorityHeader,
 		base64.StdEncoding.EncodeToString(public), hex.EncodeToString(private.Seed()))
-	return path, public, errors.Join(err, f.Sync(), f.Close())
+	return path, public, errors.Join(err, file.Sync(), file.Close())
 }
 
 // LoadAuthority reads a key that signs changes of accounts. Errors name the file and never
 // tell the secret.
 func LoadAuthority(path string) (ed25519.PrivateKey, error) {
-	values, err := fields(path, authorityHead, "kind", "public", "secret")
+	values, err := readFields(path, authorityHeader, "kind", "public", "secret")
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
@@ -59,28 +59,28 @@
 
 // fields reads a file of a head line and lines of a name and a value each, in that order,
 // which nobody else may read.
-func fields(path, head string, names ...string) ([]string, error) {
-	f, err := os.Open(path)
+func readFields(path, header string, names ...string) ([]string, error) {
+	file, err := os.Open(path)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = f.Close() }()
-	info, err := f.Stat()
+	defer func() { _ = file.Close() }()
+	info, err := file.Stat()
 	switch {
 	case err != nil:
 		return nil, err
 	case info.Mode().Perm()&0o077 != 0:
-		return nil, fmt.Errorf("mode is %04o, others may read it; want %04o", info.Mode().Perm(), mode)
-	case info.Size() > largest:
+		return nil, fmt.Errorf("mode is %04o, others may read it; want %04o", info.Mode().Perm(), fileMode)
+	case info.Size() > maxFileSize:
 		return nil, fmt.Errorf("%d bytes is no key", info.Size())
 	}
-	text, err := io.ReadAll(io.LimitReader(f, largest))
+	text, err := io.ReadAll(io.LimitReader(file, maxFileSize))
 	if err != nil {
 		return nil, err
 	}
 	lines := strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
-	if len(lines) != len(names)+1 || lines[0] != head {
-		return nil, fmt.Errorf("want %d lines, the first %q", len(names)+1, head)
+	if len(lines) != len(names)+1 || lines[0] != header {
+		return nil, fmt.Errorf("want %d lines, the first %q", len(names)+1, header)
 	}
 	values := make([]string, len(names))
 	for i, name := range names {
--- a/internal/keyfile/authority_test.go
+++ b/internal/keyfile/authority_test.go
@@ -7,7 +7,7 @@
 	"testing"
 )
 
-func TestAuthority(t *testing.T) {
+func TestCreateAndLoadAuthority(t *testing.T) {
 	path, public, err := CreateAuthority(t.TempDir(), "root.authority")
 	if err != nil {
 		t.Fatal(err)
@@ -25,7 +25,7 @@
 		"cut":             good[:len(good)-3],
 		"another's":       strings.Replace(good, secret, strings.Repeat("0", 64), 1),
 		"another kind":    strings.Replace(good, "ed25519", "rsa", 1),
-		"a resume key":    strings.Replace(good, authorityHead, head, 1),
+		"a resume key":    strings.Replace(good, authorityHeader, keyHeader, 1),
 		"a line too many": good + "x\n",
 	} {
 		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
--- a/internal/keyfile/keyfile_test.go
+++ b/internal/keyfile/keyfile_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func TestKeyFiles(t *testing.T) {
+func TestCreateAndLoadKeys(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "keys")
 	if _, err := Load(dir); err == nil || !strings.Contains(err.Error(), "coralctl key new") {
 		t.Errorf("no folder: %v", err)
--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -22,8 +22,8 @@
 var update = flag.Bool("update", false, "rewrite testdata/stored")
 
 var (
-	signsFirst = time.Date(2027, 1, 15, 8, 0, 1, 0, time.UTC)
-	signsNext  = time.Date(2027, 2, 16, 9, 30, 2, 0, time.UTC)
+	firstStartsAt  = time.Date(2027, 1, 15, 8, 0, 1, 0, time.UTC)
+	secondStartsAt = time.Date(2027, 2, 16, 9, 30, 2, 0, time.UTC)
 )
 
 // copyStored returns a folder with a copy of testdata/stored/name, readable by its owner
@@ -48,7 +48,7 @@
 
 // sameButDrawn tells whether two key files are the same bytes but for the words of these
 // numbers, which are drawn at random.
-func sameButDrawn(t *testing.T, stored, written string, drawn ...int) {
+func requireSameExceptWords(t *testing.T, stored, written string, drawn ...int) {
 	t.Helper()
 	var texts [2]string
 	for i, path := range []string{stored, written} {
@@ -76,7 +76,7 @@
 func TestReadsStoredKeys(t *testing.T) {
 	if *update {
 		_ = os.RemoveAll("testdata/stored/keys")
-		for _, from := range []time.Time{signsFirst, signsNext} {
+		for _, from := range []time.Time{firstStartsAt, secondStartsAt} {
 			if _, _, err := Create("testdata/stored/keys", from); err != nil {
 				t.Fatal(err)
 			}
@@ -93,8 +93,8 @@
 		from   time.Time
 		secret string
 	}{
-		{0xe10e5335, signsNext, "2c7d6fc63582c1fa1b9626eb21282360b8f6ce833d7463e0775e9ac61e987ab1"},
-		{0x78b29d51, signsFirst, "103215ca08f9287cdf93ca97c3ba5df5d1843b717f2c152d39b0f031294fc2d1"},
+		{0xe10e5335, secondStartsAt, "2c7d6fc63582c1fa1b9626eb21282360b8f6ce833d7463e0775e9ac61e987ab1"},
+		{0x78b29d51, firstStartsAt, "103215ca08f9287cdf93ca97c3ba5df5d1843b717f2c152d39b0f031294fc2d1"},
 	} {
 		secret, err := hex.DecodeString(k.secret)
 		if err != nil {
@@ -109,11 +109,11 @@
 	if got := ring.Keys(); !reflect.DeepEqual(got, want) {
 		t.Errorf("read %+v, want %+v", got, want)
 	}
-	path, id, err := Create(t.TempDir(), signsNext)
+	path, id, err := Create(t.TempDir(), secondStartsAt)
 	if err != nil || filepath.Base(path) != id.String()+".key" {
 		t.Fatalf("key %v is written to %s: %v", id, path, err)
 	}
-	sameButDrawn(t, filepath.Join(dir, "e10e5335.key"), path, 2, 6)
+	requireSameExceptWords(t, filepath.Join(dir, "e10e5335.key"), path, 2, 6)
 }
 
 func TestReadsStoredAuthority(t *testing.T) {
@@ -139,5 +139,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	sameButDrawn(t, stored, path, 4, 6)
+	requireSameExceptWords(t, stored, path, 4, 6)
 }
