--- a/internal/fleet/quota/budget.go
+++ b/internal/fleet/quota/budget.go
@@ -22,19 +22,19 @@
 // hop that any member holds for cold, by id.
 func (s *State) Allocate(now time.Duration) (grants []TokenGrant) {
 	leaseHolders := s.leaseHolders(now)
-	cold := map[Endpoint]bool{}
+	warming := map[Endpoint]bool{}
 	for _, name := range leaseHolders {
-		m := s.members[name]
-		for server, u := range m.usages {
-			if u.WarmingUp && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
-				cold[server] = true
+		member := s.members[name]
+		for endpoint, usage := range member.usages {
+			if usage.WarmingUp && now-member.report.ReportedAt < s.cfg.LeaseTimeout {
+				warming[endpoint] = true
 			}
 		}
 	}
 	period, _, _ := s.cfg.Period(now)
-	for server := range cold {
-		budget := s.epochBudget(now, period/2, server, leaseHolders)
-		grants = append(grants, TokenGrant{server, s.ownTokens(now, period, budget, server, leaseHolders)})
+	for endpoint := range warming {
+		budget := s.epochBudget(now, period/2, endpoint, leaseHolders)
+		grants = append(grants, TokenGrant{endpoint, s.ownTokens(now, period, budget, endpoint, leaseHolders)})
 	}
 	slices.SortFunc(grants, func(a, b TokenGrant) int {
 		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
@@ -49,52 +49,52 @@
 // Rate returns this member's tokens for the half epoch in which now lies, of a rate a second
 // that all members know and keep to together. Half of it is dealt in an epoch, so that two
 // epochs, which a window may touch, make no more than the whole.
-func (s *State) AllocateRate(now time.Duration, server Endpoint, rate float64) int {
+func (s *State) AllocateRate(now time.Duration, endpoint Endpoint, rate float64) int {
 	if !(rate > 0) {
 		return 0
 	}
 	period, _, _ := s.cfg.Period(now)
-	budget := roundBudget(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, server, period/2)
-	return s.ownTokens(now, period, budget, server, s.leaseHolders(now))
+	budget := roundBudget(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, endpoint, period/2)
+	return s.ownTokens(now, period, budget, endpoint, s.leaseHolders(now))
 }
 
 // tokens deals a budget: whole in an epoch's first half, and what is known not to
 // have been spent in the second. Who has not reported since the first half's end counts as
 // having spent all that he had.
-func (s *State) ownTokens(now time.Duration, period int64, budget int, server Endpoint, leaseHolders []string) int {
-	first := splitTokens(budget, server, period/2*2, leaseHolders)
+func (s *State) ownTokens(now time.Duration, period int64, budget int, endpoint Endpoint, leaseHolders []string) int {
+	firstHalf := splitTokens(budget, endpoint, period/2*2, leaseHolders)
 	if period%2 == 0 {
 		if s.DisabledGuards.RankedAllocation {
 			return budget
 		}
-		return first[s.self]
+		return firstHalf[s.self]
 	}
 	left := budget
-	_, begin, _ := s.cfg.Period(now)
+	_, periodStart, _ := s.cfg.Period(now)
 	for _, name := range leaseHolders {
-		m := s.members[name]
-		spent := first[name]
-		if r := m.report; r != nil && r.Period == period-1 && r.ReportedAt >= begin {
-			spent = m.usages[server].Spent
-		} else if r != nil && r.Period == period {
-			spent = m.usages[server].PriorSpent
+		member := s.members[name]
+		spent := firstHalf[name]
+		if report := member.report; report != nil && report.Period == period-1 && report.ReportedAt >= periodStart {
+			spent = member.usages[endpoint].Spent
+		} else if report != nil && report.Period == period {
+			spent = member.usages[endpoint].PriorSpent
 		}
 		left -= spent
 	}
 	if s.DisabledGuards.RankedAllocation {
 		return max(left, 0)
 	}
-	return splitTokens(max(left, 0), server, period, leaseHolders)[s.self]
+	return splitTokens(max(left, 0), endpoint, period, leaseHolders)[s.self]
 }
 
 // budget is what all may send a server within an epoch: the sum of their parts, none over
 // clamp times the median.
-func (s *State) epochBudget(now time.Duration, epoch int64, server Endpoint, leaseHolders []string) int {
+func (s *State) epochBudget(now time.Duration, epoch int64, endpoint Endpoint, leaseHolders []string) int {
 	var demands []float64
 	for _, name := range leaseHolders {
-		if m := s.members[name]; m.report != nil && now-m.report.ReportedAt < s.cfg.LeaseTimeout {
-			if u := m.usages[server]; u.WarmingUp {
-				demands = append(demands, u.Demand)
+		if member := s.members[name]; member.report != nil && now-member.report.ReportedAt < s.cfg.LeaseTimeout {
+			if usage := member.usages[endpoint]; usage.WarmingUp {
+				demands = append(demands, usage.Demand)
 			}
 		}
 	}
@@ -104,16 +104,16 @@
 	slices.Sort(demands)
 	maxDemand := maxMedianMultiple * demands[(len(demands)-1)/2]
 	sum := 0.0
-	for _, p := range demands {
-		sum += min(p, maxDemand)
+	for _, demand := range demands {
+		sum += min(demand, maxDemand)
 	}
-	return roundBudget(sum, server, epoch)
+	return roundBudget(sum, endpoint, epoch)
 }
 
 // rounded is a budget in whole tokens: a fraction becomes one more in as many epochs.
-func roundBudget(budget float64, server Endpoint, epoch int64) int {
+func roundBudget(budget float64, endpoint Endpoint, epoch int64) int {
 	whole, fraction := math.Modf(budget)
-	if float64(hash(server.ID, uint64(server.StartedAt), uint64(epoch))%1e6)/1e6 < fraction {
+	if float64(hash(endpoint.ID, uint64(endpoint.StartedAt), uint64(epoch))%1e6)/1e6 < fraction {
 		whole++
 	}
 	return int(min(whole, 1e6))
@@ -123,11 +123,11 @@
 // who come first by their hash with the server and the half. More tokens never mean fewer
 // for anyone, so that members who reckon with different numbers together spend no more
 // than the greatest of them.
-func splitTokens(tokens int, server Endpoint, period int64, leaseHolders []string) map[string]int {
+func splitTokens(tokens int, endpoint Endpoint, period int64, leaseHolders []string) map[string]int {
 	ranked := slices.Clone(leaseHolders)
 	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hash(a+"\x00"+server.ID, uint64(server.StartedAt), uint64(period)),
-			hash(b+"\x00"+server.ID, uint64(server.StartedAt), uint64(period))), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(hash(a+"\x00"+endpoint.ID, uint64(endpoint.StartedAt), uint64(period)),
+			hash(b+"\x00"+endpoint.ID, uint64(endpoint.StartedAt), uint64(period))), cmp.Compare(a, b))
 	})
 	tokensByMember := make(map[string]int, len(ranked))
 	for rank, name := range ranked {
@@ -139,9 +139,9 @@
 	return tokensByMember
 }
 
-func hash(word string, a, b uint64) uint64 {
+func hash(key string, a, b uint64) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(word))
+	h.Write([]byte(key))
 	for _, x := range [2]uint64{a, b} {
 		for range 8 {
 			h.Write([]byte{byte(x)})
--- a/internal/fleet/quota/budget_test.go
+++ b/internal/fleet/quota/budget_test.go
@@ -12,27 +12,27 @@
 func TestRateIsKeptByAllMembersTogether(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
-		w := newTestFleet(n, cfg)
-		b, prior := ZoneKey("b"), make([]int, n)
+		fleet := newTestFleet(n, cfg)
+		zone, prior := ZoneKey("b"), make([]int, n)
 		for range rapid.IntRange(1, 5).Draw(t, "epochs") {
 			spent, most := 0, 0.0
 			for phase := range 2 {
-				half, _, end := cfg.Period(w.now)
+				period, _, end := cfg.Period(fleet.now)
 				used := make([]int, n)
-				for i, s := range w.states { // each has heard of the change, or not yet
+				for i, s := range fleet.states { // each has heard of the change, or not yet
 					rate := rapid.SampledFrom([]float64{0, 2.5, 40}).Draw(t, "rate")
 					most = max(most, rate)
-					tokens := s.AllocateRate(w.now, b, rate)
+					tokens := s.AllocateRate(fleet.now, zone, rate)
 					if rate == 0 && tokens != 0 {
 						t.Fatalf("%d tokens of no rate", tokens)
 					}
 					used[i] = rapid.IntRange(0, tokens).Draw(t, "used")
 					spent += used[i]
 				}
-				w.now = end
+				fleet.now = end
 				for i := range n {
-					r := w.report(i, half, Usage{Endpoint: b, Spent: used[i], PriorSpent: prior[i]})
-					for _, s := range w.states {
+					r := fleet.report(i, period, Usage{Endpoint: zone, Spent: used[i], PriorSpent: prior[i]})
+					for _, s := range fleet.states {
 						if rapid.Bool().Draw(t, "heard") {
 							s.Merge(r)
 						}
--- a/internal/fleet/quota/retries.go
+++ b/internal/fleet/quota/retries.go
@@ -10,22 +10,22 @@
 	if s.DisabledGuards.RetryBudget {
 		return 1e6
 	}
-	own, others, n := 0.0, 0.0, 0
-	for name, m := range s.members {
-		if s.holdsLease(now, m) {
-			n++
+	own, others, holders := 0.0, 0.0, 0
+	for name, member := range s.members {
+		if s.holdsLease(now, member) {
+			holders++
 		}
-		if !s.hasFreshReport(now, m) {
+		if !s.hasFreshReport(now, member) {
 			continue
 		}
-		if left := s.cfg.RetryRatio*m.report.FirstAttempts - m.report.Retries; name == s.self {
+		if left := s.cfg.RetryRatio*member.report.FirstAttempts - member.report.Retries; name == s.self {
 			own = left
 		} else {
 			others += max(left, 0)
 		}
 	}
-	if n == 0 {
+	if holders == 0 {
 		return 0
 	}
-	return max(own+others/float64(n), 0)
+	return max(own+others/float64(holders), 0)
 }
--- a/internal/fleet/quota/share.go
+++ b/internal/fleet/quota/share.go
@@ -94,15 +94,15 @@
 
 // newer tells whether r replaces o: the greater in this order, so that merging is
 // commutative, associative and idempotent.
-func (r *Report) isNewerThan(o *Report) bool {
-	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.Seq, o.Seq)) > 0
+func (r *Report) isNewerThan(other *Report) bool {
+	return cmp.Or(cmp.Compare(r.Incarnation, other.Incarnation), cmp.Compare(r.Seq, other.Seq)) > 0
 }
 
 // sound tells whether a report can be true: it comes from outside.
 func (r *Report) isPlausible() bool {
-	good := func(x float64) bool { return x >= 0 && x <= 1e9 }
-	return r.Member != "" && len(r.Member) <= 64 && len(r.Usages) <= maxEndpoints && good(r.FirstAttempts) && good(r.Retries) &&
-		!slices.ContainsFunc(r.Usages, func(u Usage) bool {
-			return u.ID == "" || !good(u.Demand) || u.Spent < 0 || u.Spent > 1e6 || u.PriorSpent < 0 || u.PriorSpent > 1e6 || !good(u.Attempts) || !good(u.FailedAttempts)
+	isCount := func(x float64) bool { return x >= 0 && x <= 1e9 }
+	return r.Member != "" && len(r.Member) <= 64 && len(r.Usages) <= maxEndpoints && isCount(r.FirstAttempts) && isCount(r.Retries) &&
+		!slices.ContainsFunc(r.Usages, func(usage Usage) bool {
+			return usage.ID == "" || !isCount(usage.Demand) || usage.Spent < 0 || usage.Spent > 1e6 || usage.PriorSpent < 0 || usage.PriorSpent > 1e6 || !isCount(usage.Attempts) || !isCount(usage.FailedAttempts)
 		})
 }
--- a/internal/fleet/quota/share_test.go
+++ b/internal/fleet/quota/share_test.go
@@ -23,26 +23,26 @@
 	now    time.Duration
 }
 
-func newTestFleet(n int, c Config) *testFleet {
-	w := &testFleet{now: startTime}
+func newTestFleet(n int, config Config) *testFleet {
+	fleet := &testFleet{now: startTime}
 	for i := range n {
-		w.names = append(w.names, fmt.Sprint("n", i))
+		fleet.names = append(fleet.names, fmt.Sprint("n", i))
 	}
-	for _, name := range w.names {
-		s := NewState(name, c)
-		for _, other := range w.names {
-			s.SetMemberStatus(w.now, other, Alive)
+	for _, name := range fleet.names {
+		s := NewState(name, config)
+		for _, other := range fleet.names {
+			s.SetMemberStatus(fleet.now, other, Alive)
 		}
-		w.states = append(w.states, s)
+		fleet.states = append(fleet.states, s)
 	}
-	return w
+	return fleet
 }
 
 // report has member i report, and returns it for whoever hears it.
-func (w *testFleet) report(i int, half int64, u ...Usage) Report {
-	w.seq++
-	r := Report{Member: w.names[i], Incarnation: 1, Seq: w.seq, ReportedAt: w.now, Period: half, Usages: u}
-	w.states[i].Merge(r)
+func (f *testFleet) report(index int, period int64, usages ...Usage) Report {
+	f.seq++
+	r := Report{Member: f.names[index], Incarnation: 1, Seq: f.seq, ReportedAt: f.now, Period: period, Usages: usages}
+	f.states[index].Merge(r)
 	return r
 }
 
@@ -52,30 +52,30 @@
 func TestMembersTogetherStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
-		part := rapid.Float64Range(0, 6).Draw(t, "part")
-		w := newTestFleet(n, cfg)
+		demand := rapid.Float64Range(0, 6).Draw(t, "part")
+		fleet := newTestFleet(n, cfg)
 		for i := range n { // all have heard of all, once
-			r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part})
-			for _, s := range w.states {
+			r := fleet.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: demand})
+			for _, s := range fleet.states {
 				s.Merge(r)
 			}
 		}
 		sides := 1
 		for range rapid.IntRange(1, 6).Draw(t, "epochs") {
 			if cut := rapid.IntRange(0, 3).Draw(t, "cut"); cut == 0 && n > 1 { // some are told dead
-				for i, s := range w.states {
-					for j := range w.names {
+				for i, s := range fleet.states {
+					for j := range fleet.names {
 						if i%2 != j%2 {
-							s.SetMemberStatus(w.now, w.names[j], Failed)
+							s.SetMemberStatus(fleet.now, fleet.names[j], Failed)
 						}
 					}
 				}
 				if rapid.Bool().Draw(t, "for long") {
-					w.now += (cfg.LeaseTimeout/cfg.Epoch + 1) * cfg.Epoch
+					fleet.now += (cfg.LeaseTimeout/cfg.Epoch + 1) * cfg.Epoch
 					sides = 2
 					for i := range n { // each side hears its own
-						r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part})
-						for j, s := range w.states {
+						r := fleet.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: demand})
+						for j, s := range fleet.states {
 							if i%2 == j%2 {
 								s.Merge(r)
 							}
@@ -83,21 +83,21 @@
 					}
 				}
 			}
-			half, _, _ := cfg.Period(w.now)
-			budget := int(part*float64(n)) + sides // a fraction, rounded up on each side
+			period, _, _ := cfg.Period(fleet.now)
+			budget := int(demand*float64(n)) + sides // a fraction, rounded up on each side
 			spent := 0
 			for phase := range int64(2) {
 				used := make([]int, n)
-				for i, s := range w.states {
-					for _, d := range s.Allocate(w.now) {
+				for i, s := range fleet.states {
+					for _, d := range s.Allocate(fleet.now) {
 						used[i] = rapid.IntRange(0, d.Tokens).Draw(t, "used")
 						spent += used[i]
 					}
 				}
-				w.now += cfg.Epoch / 2
+				fleet.now += cfg.Epoch / 2
 				for i := range n {
-					r := w.report(i, half+phase, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: part, Spent: used[i]})
-					for j, s := range w.states {
+					r := fleet.report(i, period+phase, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: demand, Spent: used[i]})
+					for j, s := range fleet.states {
 						if (sides == 1 || i%2 == j%2) && rapid.Bool().Draw(t, "heard") {
 							s.Merge(r)
 							s.Merge(r)
@@ -116,49 +116,49 @@
 func TestTokensAfterMembershipChanges(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
-		do    func(w *testFleet)
+		do    func(fleet *testFleet)
 		total int // of all members' tokens in a first half
 	}{
 		{"all there", func(*testFleet) {}, 12},
-		{"one failed: it may be sending", func(w *testFleet) { w.states[0].SetMemberStatus(w.now, "n3", Failed) }, 12},
-		{"one left", func(w *testFleet) {
-			for _, s := range w.states[:3] {
-				s.SetMemberStatus(w.now, "n3", Left)
+		{"one failed: it may be sending", func(fleet *testFleet) { fleet.states[0].SetMemberStatus(fleet.now, "n3", Failed) }, 12},
+		{"one left", func(fleet *testFleet) {
+			for _, s := range fleet.states[:3] {
+				s.SetMemberStatus(fleet.now, "n3", Left)
 			}
 		}, 9},
-		{"one failed for long", func(w *testFleet) {
-			for _, s := range w.states[:3] {
-				s.SetMemberStatus(w.now-cfg.LeaseTimeout, "n3", Failed)
+		{"one failed for long", func(fleet *testFleet) {
+			for _, s := range fleet.states[:3] {
+				s.SetMemberStatus(fleet.now-cfg.LeaseTimeout, "n3", Failed)
 			}
 		}, 9},
-		{"one says absurd things", func(w *testFleet) {
-			r := w.report(3, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 1e6})
-			for _, s := range w.states {
+		{"one says absurd things", func(fleet *testFleet) {
+			r := fleet.report(3, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 1e6})
+			for _, s := range fleet.states {
 				s.Merge(r)
 			}
 		}, 18}, // clamped to three times the median
-		{"one says what cannot be", func(w *testFleet) {
-			for _, s := range w.states {
+		{"one says what cannot be", func(fleet *testFleet) {
+			for _, s := range fleet.states {
 				s.Merge(Report{Member: "n3", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: warmingEndpoint, WarmingUp: true, Demand: -1}}})
 				s.Merge(Report{Member: "stranger", Incarnation: 2, Seq: 1, Usages: []Usage{{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 99}}})
 			}
 		}, 12},
 	} {
-		w := newTestFleet(4, cfg)
+		fleet := newTestFleet(4, cfg)
 		for i := range 4 {
-			r := w.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 3})
-			for _, s := range w.states {
+			r := fleet.report(i, 0, Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 3})
+			for _, s := range fleet.states {
 				s.Merge(r)
 			}
 		}
-		tt.do(w)
+		tt.do(fleet)
 		total := 0
-		for _, s := range w.states[:3] {
-			for _, d := range s.Allocate(w.now) {
+		for _, s := range fleet.states[:3] {
+			for _, d := range s.Allocate(fleet.now) {
 				total += d.Tokens
 			}
 		}
-		if fourth := w.states[3].Allocate(w.now); tt.total == 12 || tt.total == 18 {
+		if fourth := fleet.states[3].Allocate(fleet.now); tt.total == 12 || tt.total == 18 {
 			total += fourth[0].Tokens
 		}
 		if total != tt.total {
@@ -168,25 +168,25 @@
 }
 
 func TestUnspentTokensAreAllocatedAgain(t *testing.T) {
-	w := newTestFleet(3, cfg)
-	use := Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 4}
+	fleet := newTestFleet(3, cfg)
+	usage := Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: 4}
 	for i := range 3 {
-		r := w.report(i, 0, use)
-		for _, s := range w.states {
+		r := fleet.report(i, 0, usage)
+		for _, s := range fleet.states {
 			s.Merge(r)
 		}
 	}
-	half, _, end := cfg.Period(w.now)
-	w.now = end
+	period, _, end := cfg.Period(fleet.now)
+	fleet.now = end
 	for i, spent := range []int{4, 0, 0} {
-		use.Spent = spent
-		r := w.report(i, half, use)
-		for _, s := range w.states[:2] { // the third hears nobody else
+		usage.Spent = spent
+		r := fleet.report(i, period, usage)
+		for _, s := range fleet.states[:2] { // the third hears nobody else
 			s.Merge(r)
 		}
 	}
 	for i, want := range []int{2, 3, 1} { // of 8 left, and of 4 that the third knows of
-		if got := w.states[i].Allocate(w.now)[0].Tokens; got < want || got > want+1 {
+		if got := fleet.states[i].Allocate(fleet.now)[0].Tokens; got < want || got > want+1 {
 			t.Errorf("member %d is dealt %d, want %d or one more", i, got, want)
 		}
 	}
@@ -203,15 +203,15 @@
 		for i := range reports { // one number, one word
 			reports[i].FirstAttempts = float64(reports[i].Incarnation)*10 + float64(reports[i].Seq)
 		}
-		a, b := newTestFleet(4, cfg).states[0], newTestFleet(4, cfg).states[0]
+		first, second := newTestFleet(4, cfg).states[0], newTestFleet(4, cfg).states[0]
 		for _, r := range reports {
-			a.Merge(r)
+			first.Merge(r)
 		}
 		for _, r := range rapid.Permutation(append(slices.Clone(reports), reports...)).Draw(t, "order") {
-			b.Merge(r)
+			second.Merge(r)
 		}
-		for name := range a.members {
-			x, y := a.members[name].report, b.members[name].report
+		for name := range first.members {
+			x, y := first.members[name].report, second.members[name].report
 			if (x == nil) != (y == nil) || x != nil && x.FirstAttempts != y.FirstAttempts {
 				t.Fatalf("%s: %v and %v", name, x, y)
 			}
--- a/internal/fleet/quota/state.go
+++ b/internal/fleet/quota/state.go
@@ -40,50 +40,50 @@
 
 // Saw takes news of a member's status.
 func (s *State) SetMemberStatus(now time.Duration, name string, status Status) {
-	m := s.members[name]
-	if m == nil {
+	current := s.members[name]
+	if current == nil {
 		if status != Alive || len(s.members) >= maxMembers {
 			return
 		}
-		m = &member{}
-		s.members[name] = m
+		current = &member{}
+		s.members[name] = current
 	}
-	if name != s.self && m.status != status {
-		m.status, m.statusChangedAt = status, now
+	if name != s.self && current.status != status {
+		current.status, current.statusChangedAt = status, now
 	}
 }
 
 // Merge takes a report, of this member or of another that membership knows, and tells
 // whether it was news.
-func (s *State) Merge(r Report) bool {
-	m := s.members[r.Member]
-	if m == nil || !r.isPlausible() || m.report != nil && !r.isNewerThan(m.report) {
+func (s *State) Merge(report Report) bool {
+	sender := s.members[report.Member]
+	if sender == nil || !report.isPlausible() || sender.report != nil && !report.isNewerThan(sender.report) {
 		return false
 	}
-	m.report, m.usages = &r, make(map[Endpoint]Usage, len(r.Usages))
-	for _, u := range r.Usages {
-		m.usages[u.Endpoint] = u
+	sender.report, sender.usages = &report, make(map[Endpoint]Usage, len(report.Usages))
+	for _, usage := range report.Usages {
+		sender.usages[usage.Endpoint] = usage
 	}
 	return true
 }
 
 // Reports returns the latest report of each member, by name.
-func (s *State) Reports() (all []Report) {
+func (s *State) Reports() (reports []Report) {
 	for _, name := range s.memberNames() {
-		if m := s.members[name]; m.report != nil {
-			all = append(all, *m.report)
+		if current := s.members[name]; current.report != nil {
+			reports = append(reports, *current.report)
 		}
 	}
-	return all
+	return reports
 }
 
 // Members returns the status of all who are not forgotten, by name.
 func (s *State) Members() map[string]Status {
-	all := make(map[string]Status, len(s.members))
-	for name, m := range s.members {
-		all[name] = m.status
+	statuses := make(map[string]Status, len(s.members))
+	for name, current := range s.members {
+		statuses[name] = current.status
 	}
-	return all
+	return statuses
 }
 
 func (s *State) memberNames() []string {
@@ -97,20 +97,20 @@
 
 // Forget drops members that have left or been silent for longer than the hold.
 func (s *State) RemoveExpired(now time.Duration) {
-	for name, m := range s.members {
-		if name != s.self && !s.holdsLease(now, m) {
+	for name, current := range s.members {
+		if name != s.self && !s.holdsLease(now, current) {
 			delete(s.members, name)
 		}
 	}
 }
 
 // holds tells whether a member's tokens are still its own.
-func (s *State) holdsLease(now time.Duration, m *member) bool {
-	switch m.status {
+func (s *State) holdsLease(now time.Duration, holder *member) bool {
+	switch holder.status {
 	case Left:
 		return false
 	case Failed:
-		return s.DisabledGuards.LeaseExpiry || now < m.statusChangedAt+s.cfg.LeaseTimeout
+		return s.DisabledGuards.LeaseExpiry || now < holder.statusChangedAt+s.cfg.LeaseTimeout
 	}
 	return true
 }
@@ -121,6 +121,6 @@
 }
 
 // fresh tells whether a member's word counts as of late.
-func (s *State) hasFreshReport(now time.Duration, m *member) bool {
-	return m.report != nil && m.report.ReportedAt <= now+s.cfg.ReportTTL && now-m.report.ReportedAt < s.cfg.ReportTTL && m.status != Left
+func (s *State) hasFreshReport(now time.Duration, sender *member) bool {
+	return sender.report != nil && sender.report.ReportedAt <= now+s.cfg.ReportTTL && now-sender.report.ReportedAt < s.cfg.ReportTTL && sender.status != Left
 }
--- a/internal/fleet/quota/verdicts.go
+++ b/internal/fleet/quota/verdicts.go
@@ -17,35 +17,35 @@
 // have asked them, and two at least. One member's word, true or not, is never enough; and
 // however many accuse, only a share of all next hops is shunned, the most accused first.
 func (s *State) Outliers(now time.Duration) []Endpoint {
-	asked, accused := map[Endpoint]int{}, map[Endpoint]int{}
-	for _, m := range s.members {
-		if !s.hasFreshReport(now, m) {
+	reporters, accusers := map[Endpoint]int{}, map[Endpoint]int{}
+	for _, current := range s.members {
+		if !s.hasFreshReport(now, current) {
 			continue
 		}
-		for server, u := range m.usages {
-			if u.Attempts > 0 {
-				asked[server]++
-				if u.FailedAttempts >= minFailedAttempts && 2*u.FailedAttempts >= u.Attempts {
-					accused[server]++
+		for endpoint, usage := range current.usages {
+			if usage.Attempts > 0 {
+				reporters[endpoint]++
+				if usage.FailedAttempts >= minFailedAttempts && 2*usage.FailedAttempts >= usage.Attempts {
+					accusers[endpoint]++
 				}
 			}
 		}
 	}
-	least := minReporters
+	quorum := minReporters
 	if s.DisabledGuards.Quorum {
-		least = 1
+		quorum = 1
 	}
-	var bad []Endpoint
-	for server, n := range accused {
-		if n >= least && (2*n >= asked[server] || s.DisabledGuards.Quorum) {
-			bad = append(bad, server)
+	var outliers []Endpoint
+	for endpoint, count := range accusers {
+		if count >= quorum && (2*count >= reporters[endpoint] || s.DisabledGuards.Quorum) {
+			outliers = append(outliers, endpoint)
 		}
 	}
-	slices.SortFunc(bad, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(accused[b], accused[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
+	slices.SortFunc(outliers, func(a, b Endpoint) int {
+		return cmp.Or(cmp.Compare(accusers[b], accusers[a]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
 	})
 	if s.DisabledGuards.Quorum {
-		return bad
+		return outliers
 	}
-	return bad[:min(len(bad), int(s.cfg.MaxOutlierFraction*float64(len(asked))))]
+	return outliers[:min(len(outliers), int(s.cfg.MaxOutlierFraction*float64(len(reporters))))]
 }
--- a/internal/fleet/quota/verdicts_test.go
+++ b/internal/fleet/quota/verdicts_test.go
@@ -31,12 +31,12 @@
 		{"long ago", [][]Usage{append(everyone(good), bad("s1")), append(everyone(good), bad("s1"))}, cfg.ReportTTL, nil},
 		{"a fault now and then", [][]Usage{{{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}, {{Endpoint: Endpoint{ID: "s1"}, Attempts: 9, FailedAttempts: 1}}}, 0, nil},
 	} {
-		w := newTestFleet(len(tt.said), cfg)
-		for i, uses := range tt.said {
-			w.states[0].Merge(w.report(i, 0, uses...))
+		fleet := newTestFleet(len(tt.said), cfg)
+		for i, usages := range tt.said {
+			fleet.states[0].Merge(fleet.report(i, 0, usages...))
 		}
 		var got []string
-		for _, s := range w.states[0].Outliers(w.now + tt.late) {
+		for _, s := range fleet.states[0].Outliers(fleet.now + tt.late) {
 			got = append(got, s.ID)
 		}
 		if !slices.Equal(got, tt.want) {
@@ -50,27 +50,27 @@
 func TestRetriesOfAllMembersStayBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "members")
-		w := newTestFleet(n, cfg)
+		fleet := newTestFleet(n, cfg)
 		firsts, retries := make([]float64, n), make([]float64, n)
 		all := 0.0
 		for i := range n {
 			firsts[i] = rapid.Float64Range(0, 100).Draw(t, "firsts")
 			all += firsts[i]
 		}
-		tell := func(i int) Report {
-			w.seq++
-			return Report{Member: w.names[i], Incarnation: 1, Seq: w.seq, ReportedAt: w.now, FirstAttempts: firsts[i], Retries: retries[i]}
+		newReport := func(i int) Report {
+			fleet.seq++
+			return Report{Member: fleet.names[i], Incarnation: 1, Seq: fleet.seq, ReportedAt: fleet.now, FirstAttempts: firsts[i], Retries: retries[i]}
 		}
 		for range 20 {
-			for i, s := range w.states {
-				r := tell(i)
+			for i, s := range fleet.states {
+				r := newReport(i)
 				s.Merge(r)
-				for _, other := range w.states {
+				for _, other := range fleet.states {
 					if rapid.IntRange(0, 3).Draw(t, "heard") == 0 {
 						other.Merge(r)
 					}
 				}
-				retries[i] += s.RetryBudget(w.now) * rapid.Float64Range(0, 1).Draw(t, "used")
+				retries[i] += s.RetryBudget(fleet.now) * rapid.Float64Range(0, 1).Draw(t, "used")
 			}
 		}
 		sum := 0.0
