--- a/internal/downstream/caller_test.go
+++ b/internal/downstream/caller_test.go
@@ -14,38 +14,38 @@
 )
 
 // decider keeps what is submitted, and refuses it.
-type decider chan *proxy.Session
+type rejectingDispatcher chan *proxy.Session
 
-func (d decider) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
+func (d rejectingDispatcher) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
 	d <- item.(*proxy.Session)
 	item.Reject(0)
 }
 
-func (decider) Adopt(dispatch.Placement, string) bool              { return true }
-func (decider) ClientGone(dispatch.Placement)                      {}
-func (decider) PlacementEnded(dispatch.Placement, balance.Outcome) {}
+func (rejectingDispatcher) Adopt(dispatch.Placement, string) bool              { return true }
+func (rejectingDispatcher) ClientGone(dispatch.Placement)                      {}
+func (rejectingDispatcher) PlacementEnded(dispatch.Placement, balance.Outcome) {}
 
 // door is a listener that hands out what is put into it.
-type door chan net.Conn
+type fakeListener chan net.Conn
 
-func (d door) Accept() (net.Conn, error) {
+func (d fakeListener) Accept() (net.Conn, error) {
 	if c, ok := <-d; ok {
 		return c, nil
 	}
 	return nil, net.ErrClosed
 }
-func (d door) Close() error { close(d); return nil }
-func (door) Addr() net.Addr { return &net.TCPAddr{} }
+func (d fakeListener) Close() error { close(d); return nil }
+func (fakeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // A first line may come in any pieces, and its caller may go after any of them: the
 // whole line is taken, half of one never is, and nothing is left behind, as the bubble
 // would not end then.
-func TestPieces(t *testing.T) {
+func TestFirstLineInPieces(t *testing.T) {
 	const text = "OPEN a k c=feed,d=900\r\n"
 	for cut := range len(text) {
 		for _, goes := range []bool{false, true} {
 			synctest.Test(t, func(t *testing.T) {
-				d, l := make(decider, 1), make(door)
+				d, l := make(rejectingDispatcher, 1), make(fakeListener)
 				s := New(d, nil, Limits{Sockets: 16})
 				served := make(chan error, 1)
 				go func() { served <- s.Serve(l) }()
@@ -79,12 +79,12 @@
 
 // Whatever time a caller asks for, it holds its sockets no longer than the
 // protocol has a use for.
-func TestDeadlineIsBounded(t *testing.T) {
+func TestRequestTimeoutIsBounded(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := make(decider, 1)
+	d := make(rejectingDispatcher, 1)
 	s := New(d, nil, Limits{Sockets: 16})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -13,10 +13,10 @@
 	"golang.org/x/sys/unix"
 )
 
-const patience = 10 * time.Second // no test waits this long unless it fails
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
 
 // pair returns both ends of a connection on real sockets.
-func pair(t *testing.T) (near, far *net.TCPConn) {
+func connPair(t *testing.T) (near, far *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,20 +32,20 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { here.Close(); there.Close() })
-	there.SetDeadline(time.Now().Add(patience))
+	there.SetDeadline(time.Now().Add(testTimeout))
 	return here.(*net.TCPConn), there.(*net.TCPConn)
 }
 
 // crossing is a connection on which a request comes in the moment in which the last answer
 // has been written and the node has not gone on: it lies in the socket when the write
 // returns.
-type crossing struct {
+type crossingConn struct {
 	*net.TCPConn
 	far  net.Conn
 	once sync.Once
 }
 
-func (c *crossing) Write(p []byte) (int, error) {
+func (c *crossingConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	if !strings.HasPrefix(string(p), "PONG") {
 		c.once.Do(func() {
@@ -60,7 +60,7 @@
 }
 
 // unread is how much lies in the socket.
-func (c *crossing) unread() (n int) {
+func (c *crossingConn) unread() (n int) {
 	raw, err := c.SyscallConn()
 	if err == nil {
 		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
@@ -71,7 +71,7 @@
 // The last answer reaches a caller whose request crosses it, whatever it is told and why:
 // once a plain close over that request was a reset, which took the answer with it. It is
 // the only answer, and the request goes nowhere.
-func TestLastAnswerCrossed(t *testing.T) {
+func TestLastAnswerSurvivesACrossingRequest(t *testing.T) {
 	type told struct {
 		name, says, want string
 		pongs            int
@@ -101,12 +101,12 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			d, l := make(decider, 8), make(door)
+			d, l := make(rejectingDispatcher, 8), make(fakeListener)
 			s := New(d, nil, Limits{Sockets: 4, RetryAfter: 500 * time.Millisecond})
 			served := make(chan error, 1)
 			go func() { served <- s.Serve(l) }()
-			near, far := pair(t)
-			l <- &crossing{TCPConn: near, far: far}
+			near, far := connPair(t)
+			l <- &crossingConn{TCPConn: near, far: far}
 			fmt.Fprint(far, tt.says)
 			r := bufio.NewReader(far)
 			for range tt.pongs {
@@ -115,7 +115,7 @@
 				}
 			}
 			if tt.meanwhile != nil {
-				tt.meanwhile(s, func() { near, _ := pair(t); l <- near })
+				tt.meanwhile(s, func() { near, _ := connPair(t); l <- near })
 			}
 			if all, err := io.ReadAll(r); err != nil || string(all) != tt.want+"\r\n" {
 				t.Errorf("%q, %v; want %q and the end", all, err, tt.want)
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -17,33 +17,33 @@
 )
 
 // parked takes transactions and answers none. What it is told it keeps, in order.
-type parked struct {
-	taken  chan *proxy.Session
-	events chan string
-	may    chan struct{} // Submit waits for it; nil for nothing
+type parkingDispatcher struct {
+	submitted chan *proxy.Session
+	events    chan string
+	release   chan struct{} // Submit waits for it; nil for nothing
 }
 
-func newParked() *parked {
-	return &parked{taken: make(chan *proxy.Session, 64), events: make(chan string, 64)}
+func newParkingDispatcher() *parkingDispatcher {
+	return &parkingDispatcher{submitted: make(chan *proxy.Session, 64), events: make(chan string, 64)}
 }
 
-func (p *parked) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
-	p.taken <- item.(*proxy.Session)
-	if p.may != nil {
-		<-p.may
+func (p *parkingDispatcher) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
+	p.submitted <- item.(*proxy.Session)
+	if p.release != nil {
+		<-p.release
 	}
 	p.events <- "submitted " + item.PlacementRequest().ID
 }
-func (p *parked) Adopt(dispatch.Placement, string) bool { return true }
-func (p *parked) ClientGone(item dispatch.Placement) {
+func (p *parkingDispatcher) Adopt(dispatch.Placement, string) bool { return true }
+func (p *parkingDispatcher) ClientGone(item dispatch.Placement) {
 	p.events <- "gone " + item.PlacementRequest().ID
 }
-func (p *parked) PlacementEnded(item dispatch.Placement, _ balance.Outcome) {
+func (p *parkingDispatcher) PlacementEnded(item dispatch.Placement, _ balance.Outcome) {
 	p.events <- "ended " + item.PlacementRequest().ID
 }
 
 // all is what comes until the end, which must be one in good order.
-func all(t *testing.T, far net.Conn) string {
+func readAll(t *testing.T, far net.Conn) string {
 	t.Helper()
 	text, err := io.ReadAll(far)
 	if err != nil {
@@ -55,13 +55,13 @@
 // By the plan's end everybody has the answer that is due, and the end of the connection in
 // good order: who rests, who is being read out, who waits for longer than the plan lasts,
 // and who stands. Once they were cut off.
-func TestDrainAnswersAll(t *testing.T) {
-	p, l := newParked(), make(door)
+func TestDrainAnswersEveryClient(t *testing.T) {
+	p, l := newParkingDispatcher(), make(fakeListener)
 	s := New(p, nil, Limits{Sockets: 64})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	come := func(says string) net.Conn {
-		near, far := pair(t)
+		near, far := connPair(t)
 		l <- near
 		fmt.Fprint(far, says)
 		return far
@@ -71,11 +71,11 @@
 	late := come("OPEN late k c=feed,d=40000\r\n")
 	home := come("OPEN home k c=feed,d=40000,at=s1\r\n")
 	for range 2 {
-		<-p.taken
+		<-p.submitted
 	}
 	stands := come("OPEN stands k c=feed,d=900\r\n")
-	hopNear, hop := pair(t)
-	if up := <-p.taken; !up.Establish("UP r1", "s1", bufconn.New(hopNear)) {
+	hopNear, hop := connPair(t)
+	if up := <-p.submitted; !up.Establish("UP r1", "s1", bufconn.New(hopNear)) {
 		t.Fatal("not up")
 	}
 	if text, _ := bufio.NewReader(stands).ReadString('\n'); text != "UP r1\r\n" {
@@ -90,7 +90,7 @@
 	for s.AcceptsClients() {
 		time.Sleep(time.Millisecond)
 	}
-	if text := all(t, come("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
+	if text := readAll(t, come("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
 		t.Errorf("who comes later: %q", text)
 	}
 	for name, c := range map[string]struct {
@@ -98,7 +98,7 @@
 		want string
 	}{"rests": {rests, "BUSY\r\n"}, "half a line": {half, "BUSY\r\n"}, "waits": {late, "ERR\r\n"},
 		"waits for who holds it": {home, "ERR\r\n"}, "stands": {stands, "MOVE\r\n"}} {
-		if text := all(t, c.far); text != c.want {
+		if text := readAll(t, c.far); text != c.want {
 			t.Errorf("%s: %q, want %q", name, text, c.want)
 		}
 		c.far.Close()
@@ -126,10 +126,10 @@
 
 // The drain waits for who is being read out, and the end for who was accepted last: neither
 // is cut while it still sends.
-func TestDrainWaitsForReadOut(t *testing.T) {
+func TestDrainWaitsForLingeringClients(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		for _, stands := range []bool{false, true} {
-			p, l := newParked(), make(door)
+			p, l := newParkingDispatcher(), make(fakeListener)
 			s := New(p, nil, Limits{Sockets: 64})
 			served := make(chan error, 1)
 			go func() { served <- s.Serve(l) }()
@@ -143,7 +143,7 @@
 			if stands {
 				far := come("OPEN stands k c=feed,d=900\r\n")
 				near, hop := net.Pipe()
-				(<-p.taken).Establish("UP r1", "s1", bufconn.New(near))
+				(<-p.submitted).Establish("UP r1", "s1", bufconn.New(near))
 				lines := bufio.NewReader(far)
 				_, _ = lines.ReadString('\n')
 				stop = func() { _, _ = io.ReadAll(lines); far.Close(); hop.Close() }
@@ -193,16 +193,16 @@
 // The last call comes between a transaction's admission and its way to the decider: it has
 // one answer, and the decider, which has it by then, is told that it is over. Told before,
 // it would have sent it on.
-func TestGivenUpOnItsWay(t *testing.T) {
-	p, l := newParked(), make(door)
-	p.may = make(chan struct{})
+func TestGivesUpASessionBeingSubmitted(t *testing.T) {
+	p, l := newParkingDispatcher(), make(fakeListener)
+	p.release = make(chan struct{})
 	s := New(p, nil, Limits{Sockets: 64})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
-	near, far := pair(t)
+	near, far := connPair(t)
 	l <- near
 	fmt.Fprint(far, "OPEN a k c=feed,d=40000\r\n")
-	<-p.taken
+	<-p.submitted
 	drained := make(chan struct{})
 	go func() {
 		now := time.Now()
@@ -210,7 +210,7 @@
 		close(drained)
 	}()
 	for { // until newcomers are seen off unread
-		near, other := pair(t)
+		near, other := connPair(t)
 		l <- near
 		other.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		if text, _ := bufio.NewReader(other).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
@@ -218,8 +218,8 @@
 		}
 		other.Close()
 	}
-	close(p.may)
-	if text := all(t, far); text != "ERR\r\n" {
+	close(p.release)
+	if text := readAll(t, far); text != "ERR\r\n" {
 		t.Errorf("answered %q", text)
 	}
 	far.Close()
--- a/internal/downstream/room_test.go
+++ b/internal/downstream/room_test.go
@@ -12,30 +12,30 @@
 )
 
 // counted notes after each accept how many sockets the server uses.
-type counted struct {
+type countingListener struct {
 	net.Listener
-	s    *Server
-	most atomic.Int64
+	server   *Server
+	maxInUse atomic.Int64
 }
 
-func (c *counted) Accept() (net.Conn, error) {
+func (c *countingListener) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
-	c.most.Store(max(c.most.Load(), int64(c.s.SocketsInUse())))
+	c.maxInUse.Store(max(c.maxInUse.Load(), int64(c.server.SocketsInUse())))
 	return conn, err
 }
 
 // A crowd that rests, sends what is no line, or opens what is never answered, and does not
 // go when it is told to, gets no more sockets than there are, those of read-outs included:
 // once each newcomer was accepted. Usual callers between them are answered.
-func TestCrowdKeepsToTheSockets(t *testing.T) {
+func TestManyClientsStayWithinTheSocketLimit(t *testing.T) {
 	const sockets = 32
-	p := newParked()
+	p := newParkingDispatcher()
 	s := New(p, nil, Limits{Sockets: sockets})
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &counted{Listener: plain, s: s}
+	l := &countingListener{Listener: plain, server: s}
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	for i := range 200 {
@@ -52,7 +52,7 @@
 				t.Fatal(err)
 			}
 			begun := time.Now()
-			usual.SetDeadline(begun.Add(patience))
+			usual.SetDeadline(begun.Add(testTimeout))
 			fmt.Fprint(usual, "HELLO\r\n")
 			if text, err := bufio.NewReader(usual).ReadString('\n'); text != "ERR\r\n" && text != "BUSY\r\n" {
 				t.Errorf("a usual caller behind %d: %q, %v after %v", i, text, err, time.Since(begun))
@@ -60,10 +60,10 @@
 			usual.Close()
 		}
 	}
-	if most, bound := l.most.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
+	if most, bound := l.maxInUse.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
 		t.Errorf("%d sockets were in use, %d allowed", most, bound)
 	}
-	if most := l.most.Load(); most < sockets {
+	if most := l.maxInUse.Load(); most < sockets {
 		t.Errorf("only %d of %d sockets were in use", most, sockets)
 	}
 	_ = plain.Close()
@@ -73,20 +73,20 @@
 
 // A limit that falls under what stands, as the list grows or a process beside this one
 // takes its share, turns newcomers away, and not from the door.
-func TestLimitFallsUnderWhatStands(t *testing.T) {
-	p, l := newParked(), make(door)
+func TestSocketLimitBelowOpenSessionsRejectsNewcomers(t *testing.T) {
+	p, l := newParkingDispatcher(), make(fakeListener)
 	s := New(p, nil, Limits{Sockets: 32})
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	for i := range 12 {
-		near, far := pair(t)
+		near, far := connPair(t)
 		l <- near
 		fmt.Fprintf(far, "OPEN a%d k c=feed,d=40000\r\n", i)
-		<-p.taken
+		<-p.submitted
 	}
 	s.SetSocketLimit(8)
 	for range 20 {
-		near, far := pair(t)
+		near, far := connPair(t)
 		l <- near
 		fmt.Fprint(far, "OPEN b k c=feed,d=900\r\n")
 		if text, err := io.ReadAll(far); string(text) != "BUSY\r\n" || err != nil {
@@ -94,7 +94,7 @@
 		}
 		far.Close()
 	}
-	if len(p.taken) > 0 {
+	if len(p.submitted) > 0 {
 		t.Error("a newcomer was taken")
 	}
 	_ = l.Close()
