--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -145,7 +145,7 @@
 		{word(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
 		{word(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
 	} {
-		if got := whole([]gossip.Usage{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+		if got := completeUsages([]gossip.Usage{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
 		}
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -18,7 +18,7 @@
 )
 
 // every is how often evidence is looked at. A change of the record is heard at once.
-const every = 100 * time.Millisecond
+const evaluationInterval = 100 * time.Millisecond
 
 // Record is what an agent asks of package record.
 type ReplicatedLog interface {
@@ -47,31 +47,31 @@
 // Agent answers a node and operators: it is a link.Agent.
 type Agent struct {
 	Options
-	began   time.Duration
-	alone   *zonestatus.IsolatedController
-	watch   *zonestatus.Controller
-	deaf    bool          // it was said that the record is not heard
-	out     chan struct{} // holds one while a proposal is under way
-	keeping *keeping      // nil without promises
-	tables  tables
-	dealing dealing
+	startedAt          time.Duration
+	isolatedController *zonestatus.IsolatedController
+	zoneController     *zonestatus.Controller
+	loggedStale        bool             // it was said that the record is not heard
+	proposalSlot       chan struct{}    // holds one while a proposal is under way
+	objectives         *objectiveKeeper // nil without promises
+	routeTables        routeTables
+	allocator          quotaAllocator
 
-	mu    sync.Mutex
-	given gossip.Decision
+	mu       sync.Mutex
+	decision gossip.Decision
 }
 
 // New returns an agent that Run has to keep.
-func New(o Options) *Agent {
-	a := &Agent{Options: o, began: o.Clock(), out: make(chan struct{}, 1)}
-	if o.Zones != nil {
-		a.alone, a.watch = zonestatus.NewIsolatedController(*o.Zones), zonestatus.NewController(*o.Zones)
-		a.alone.DisabledGuards, a.watch.DisabledGuards = o.ZoneGuards, o.ZoneGuards
+func New(options Options) *Agent {
+	a := &Agent{Options: options, startedAt: options.Clock(), proposalSlot: make(chan struct{}, 1)}
+	if options.Zones != nil {
+		a.isolatedController, a.zoneController = zonestatus.NewIsolatedController(*options.Zones), zonestatus.NewController(*options.Zones)
+		a.isolatedController.DisabledGuards, a.zoneController.DisabledGuards = options.ZoneGuards, options.ZoneGuards
 	}
-	if o.Accounts != nil {
-		a.dealing.cfg, a.dealing.jobs = *o.Accounts, make(chan job, 1)
+	if options.Accounts != nil {
+		a.allocator.config, a.allocator.jobs = *options.Accounts, make(chan allocationJob, 1)
 	}
-	if o.SLO != nil {
-		a.keeping = newKeeping(o)
+	if options.SLO != nil {
+		a.objectives = newObjectiveKeeper(options)
 	}
 	return a
 }
@@ -82,89 +82,89 @@
 	defer proposals.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a.keeping.run(ctx, &proposals)
-	proposals.Go(func() { a.dealing.run(ctx, a) })
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+	a.objectives.sendSamples(ctx, &proposals)
+	proposals.Go(func() { a.allocator.run(ctx, a) })
+	ticker := time.NewTicker(evaluationInterval)
+	defer ticker.Stop()
 	for {
 		var changed <-chan struct{}
 		if a.Log != nil {
 			changed = a.Log.Changed()
 		}
-		a.step(ctx, &proposals)
+		a.evaluate(ctx, &proposals)
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-ticker.C:
 		case <-changed:
 		}
 	}
 }
 
 // step looks at the record and at what was seen, once.
-func (a *Agent) step(ctx context.Context, proposals *sync.WaitGroup) {
+func (a *Agent) evaluate(ctx context.Context, proposals *sync.WaitGroup) {
 	now := a.Clock()
-	var v replog.View
+	var view replog.View
 	if a.Log != nil {
-		v = a.Log.View()
+		view = a.Log.View()
 	}
-	var d gossip.Decision
+	var decision gossip.Decision
 	var state zonestatus.State
-	if v.State != nil {
-		d.LogIndex, state = v.State.Index, v.State.Zones
+	if view.State != nil {
+		decision.LogIndex, state = view.State.Index, view.State.Zones
 	}
-	heard := a.hears(now, v) && !a.AlwaysIsolated
+	followsLog := a.followsLog(now, view) && !a.AlwaysIsolated
 	switch {
 	case a.Zones == nil:
-	case heard:
-		d.ZoneLimits, d.ShedFraction = state.TrafficLimits(a.Zone), state.Shed
+	case followsLog:
+		decision.ZoneLimits, decision.ShedFraction = state.TrafficLimits(a.Zone), state.Shed
 	default:
-		d.ZoneLimits, d.ShedFraction = a.alone.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
+		decision.ZoneLimits, decision.ShedFraction = a.isolatedController.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
 	}
-	a.Gossip.SetDecision(d)
+	a.Gossip.SetDecision(decision)
 	a.mu.Lock()
-	a.given = d
+	a.decision = decision
 	a.mu.Unlock()
 	if a.Zones != nil && a.Log != nil && a.Log.IsLeader() {
-		a.lead(ctx, now, state, proposals)
+		a.proposeZoneChange(ctx, now, state, proposals)
 	}
 	if a.Accounts != nil {
-		a.tables.renew(now, v.State)
+		a.routeTables.rebuild(now, view.State)
 	}
-	a.keep(ctx, now, v, a.Log != nil && a.Log.IsLeader(), proposals)
+	a.evaluateObjectives(ctx, now, view, a.Log != nil && a.Log.IsLeader(), proposals)
 }
 
 // hears tells whether the record's word holds, and says when it begins or ends not to.
-func (a *Agent) hears(now time.Duration, v replog.View) bool {
+func (a *Agent) followsLog(now time.Duration, view replog.View) bool {
 	switch {
-	case a.Zones == nil || v.WithinLease != a.deaf || !v.WithinLease && now-a.began < a.LogLease:
-		return v.WithinLease
-	case v.WithinLease:
-		slog.Info("fleet: zones: this member goes by the record's word again", "index", v.State.Index, "leader", v.Leader)
+	case a.Zones == nil || view.WithinLease != a.loggedStale || !view.WithinLease && now-a.startedAt < a.LogLease:
+		return view.WithinLease
+	case view.WithinLease:
+		slog.Info("fleet: zones: this member goes by the record's word again", "index", view.State.Index, "leader", view.Leader)
 	default:
 		index, age := uint64(0), "never"
-		if v.State != nil {
-			index = v.State.Index
+		if view.State != nil {
+			index = view.State.Index
 		}
-		if !v.ConfirmedAt.IsZero() {
-			age = time.Since(v.ConfirmedAt).Round(time.Millisecond).String()
+		if !view.ConfirmedAt.IsZero() {
+			age = time.Since(view.ConfirmedAt).Round(time.Millisecond).String()
 		}
 		slog.Info("fleet: zones: the record is not heard, this member goes by its last word and by what its node sees", "index", index, "heard", age)
 	}
-	a.deaf = !v.WithinLease
-	return v.WithinLease
+	a.loggedStale = !view.WithinLease
+	return view.WithinLease
 }
 
 // Answer takes what the node has said. The node's clock is the machine's.
-func (a *Agent) HandleReport(s agentapi.Report) agentapi.Response {
-	g := a.Gossip.ReportQuotaUsage(s.QuotaUsage)
-	g.TokensExpireAt -= a.ClockOffset
-	told := agentapi.Response{QuotaLease: g}
+func (a *Agent) HandleReport(report agentapi.Report) agentapi.Response {
+	lease := a.Gossip.ReportQuotaUsage(report.QuotaUsage)
+	lease.TokensExpireAt -= a.ClockOffset
+	response := agentapi.Response{QuotaLease: lease}
 	if a.Accounts != nil && a.Log != nil {
-		a.tables.hear(&s)
-		a.tables.tell(&s, &told)
-		a.dealing.tell(a, a.Clock(), a.Log.View(), &s, &told)
+		a.routeTables.recordNodeState(&report)
+		a.routeTables.respond(&report, &response)
+		a.allocator.respond(a, a.Clock(), a.Log.View(), &report, &response)
 	}
-	a.counted(&s, &told)
-	return told
+	a.exchangeObjectives(&report, &response)
+	return response
 }
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -21,8 +21,8 @@
 	done := make(chan struct{})
 	go func() { defer close(done); w.agent.Run(ctx) }()
 	last := ""
-	for seq := range int(end / every) {
-		if do := script[time.Duration(seq)*every]; do != nil {
+	for seq := range int(end / evaluationInterval) {
+		if do := script[time.Duration(seq)*evaluationInterval]; do != nil {
 			do()
 		}
 		time.Sleep(25 * time.Millisecond)
@@ -50,7 +50,7 @@
 			last = string(now)
 		}
 		time.Sleep(25 * time.Millisecond)
-		if do := script[time.Duration(seq)*every+75*time.Millisecond]; do != nil {
+		if do := script[time.Duration(seq)*evaluationInterval+75*time.Millisecond]; do != nil {
 			do()
 		}
 		time.Sleep(25 * time.Millisecond)
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -20,8 +20,8 @@
 
 // Operator answers an operator's ask: "state" for people, "record" for all that the record
 // holds, "check" for whether an entry would be taken now, "propose" to have it taken.
-func (a *Agent) HandleOperator(ctx context.Context, ask agentapi.OperatorRequest) (any, error) {
-	switch ask.Method {
+func (a *Agent) HandleOperator(ctx context.Context, request agentapi.OperatorRequest) (any, error) {
+	switch request.Method {
 	case "state":
 		return a.State(), nil
 	case "record", "check", "propose":
@@ -29,58 +29,58 @@
 			return nil, fmt.Errorf("fleet.record: %s", a.NoLogReason)
 		}
 	default:
-		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", ask.Method)
+		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", request.Method)
 	}
 	state := a.Log.View().State
-	if ask.Method == "record" {
+	if request.Method == "record" {
 		return state, nil
 	}
-	if len(ask.Entry) > logentry.MaxSize {
-		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(ask.Entry), logentry.MaxSize)
+	if len(request.Entry) > logentry.MaxSize {
+		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(request.Entry), logentry.MaxSize)
 	}
-	var e logentry.Entry
-	if err := logentry.UnmarshalStrict(ask.Entry, &e); err != nil {
+	var entry logentry.Entry
+	if err := logentry.UnmarshalStrict(request.Entry, &entry); err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	if err := operators(&e); err != nil {
+	if err := checkOperatorEntry(&entry); err != nil {
 		return nil, err
 	}
-	e.ProposedBy = a.Name
-	if ask.Method == "propose" {
-		o, err := a.Log.Propose(ctx, e)
+	entry.ProposedBy = a.Name
+	if request.Method == "propose" {
+		outcome, err := a.Log.Propose(ctx, entry)
 		if errors.Is(err, replog.ErrOutcomeUnknown) {
 			err = &agentapi.CallError{Message: err.Error(), OutcomeUnknown: true}
 		}
-		return ProposalOutcome{o}, err
+		return ProposalOutcome{outcome}, err
 	}
-	raw, err := json.Marshal(e)
+	raw, err := json.Marshal(entry)
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
-	o := logentry.Outcome{Index: state.Index, Accepted: true}
+	outcome := logentry.Outcome{Index: state.Index, Accepted: true}
 	if err := state.Check(raw); err != nil {
-		o.Accepted, o.Reason = false, err.Error()
+		outcome.Accepted, outcome.Reason = false, err.Error()
 	}
-	return ProposalOutcome{o}, nil
+	return ProposalOutcome{outcome}, nil
 }
 
 // operators tells whether an entry can be an operator's. Postures of zones and allocations are
 // the leader's own decisions, which never come by a port: whoever reaches it could have the
 // fleet leave a zone.
-func operators(e *logentry.Entry) error {
+func checkOperatorEntry(entry *logentry.Entry) error {
 	switch {
-	case e.Kind == logentry.KindZones:
+	case entry.Kind == logentry.KindZones:
 		return errors.New("entry: zones: the fleet alone decides on postures")
-	case e.KeyName == "":
-		return fmt.Errorf("entry: %.40s: not signed", e.Kind)
-	case e.Kind != logentry.KindContracts:
+	case entry.KeyName == "":
+		return fmt.Errorf("entry: %.40s: not signed", entry.Kind)
+	case entry.Kind != logentry.KindContracts:
 		return nil
 	}
-	var c slo.Change
-	if err := logentry.UnmarshalStrict(e.Body, &c); err != nil {
+	var change slo.Change
+	if err := logentry.UnmarshalStrict(entry.Body, &change); err != nil {
 		return fmt.Errorf("entry: contracts: %w", err)
 	}
-	if len(c.Allocations) > 0 {
+	if len(change.Allocations) > 0 {
 		return errors.New("entry: contracts: the fleet alone decides on allocations")
 	}
 	return nil
@@ -106,8 +106,8 @@
 		}
 	}
 	a.mu.Lock()
-	s.RejectedShare = a.given.ShedFraction
-	for _, b := range a.given.ZoneLimits {
+	s.RejectedShare = a.decision.ShedFraction
+	for _, b := range a.decision.ZoneLimits {
 		s.ZoneLimits = append(s.ZoneLimits, agentapi.ZoneLimit(b))
 	}
 	a.mu.Unlock()
--- a/internal/fleet/agent/promises_lead.go
+++ b/internal/fleet/agent/promises_lead.go
@@ -16,62 +16,62 @@
 // each part of time, and at once when zones are left or returned to, never before the last
 // proposal is decided and this member has its entry. How often a contract may move is the
 // decider's own matter.
-func (a *Agent) keep(ctx context.Context, now time.Duration, v replog.View, leads bool, proposals *sync.WaitGroup) {
-	k := a.keeping
-	if k == nil || k.fleet == nil || v.State == nil {
+func (a *Agent) evaluateObjectives(ctx context.Context, now time.Duration, view replog.View, isLeader bool, proposals *sync.WaitGroup) {
+	keeper := a.objectives
+	if keeper == nil || keeper.aggregator == nil || view.State == nil {
 		return
 	}
-	s, members := v.State.Contracts, a.present()
-	regions := k.regions(v.State.Zones, a.Gossip.ZoneReports(), members)
-	k.turn(now, s, regions, members)
-	if !leads {
-		k.steer.Observe(s, k.seen)
-		k.seen = nil
+	contracts, members := view.State.Contracts, a.presentMembers()
+	regions := keeper.regions(view.State.Zones, a.Gossip.ZoneReports(), members)
+	keeper.closeIntervals(now, contracts, regions, members)
+	if !isLeader {
+		keeper.controller.Observe(contracts, keeper.observations)
+		keeper.observations = nil
 		return
 	}
-	at, version := k.ScaledTime(now), v.State.Zones.Version
-	if len(s.Contracts) == 0 || at-k.looked < k.Config.SampleInterval && at >= k.looked && version == k.zones {
+	scaledNow, zonesVersion := keeper.ScaledTime(now), view.State.Zones.Version
+	if len(contracts.Contracts) == 0 || scaledNow-keeper.evaluatedAt < keeper.Config.SampleInterval && scaledNow >= keeper.evaluatedAt && zonesVersion == keeper.zonesVersion {
 		return
 	}
 	select {
-	case k.busy <- struct{}{}:
+	case keeper.proposalSlot <- struct{}{}:
 	default:
 		return
 	}
-	if v.State.Index < k.applied {
-		<-k.busy
+	if view.State.Index < keeper.proposedIndex {
+		<-keeper.proposalSlot
 		return
 	}
-	demand, _ := k.demand()
-	change, why, ok := k.steer.Evaluate(at, s, k.seen, regions, demand)
-	k.seen, k.looked, k.zones = nil, at, version
-	if !ok {
-		<-k.busy
+	demand, _ := keeper.setupRates()
+	change, reason, due := keeper.controller.Evaluate(scaledNow, contracts, keeper.observations, regions, demand)
+	keeper.observations, keeper.evaluatedAt, keeper.zonesVersion = nil, scaledNow, zonesVersion
+	if !due {
+		<-keeper.proposalSlot
 		return
 	}
 	proposals.Go(func() {
-		defer func() { <-k.busy }()
-		ctx, cancel := context.WithTimeout(ctx, proposing)
+		defer func() { <-keeper.proposalSlot }()
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
-		k.applied = max(k.applied, a.steered(ctx, at, change, why))
+		keeper.proposedIndex = max(keeper.proposedIndex, a.submitTrafficChange(ctx, scaledNow, change, reason))
 	})
 }
 
 // steered proposes an allocation, which is the fleet's own decision, and returns its index.
-func (a *Agent) steered(ctx context.Context, at time.Duration, change slo.Change, why string) uint64 {
+func (a *Agent) submitTrafficChange(ctx context.Context, at time.Duration, change slo.Change, reason string) uint64 {
 	body, err := json.Marshal(change)
 	if err != nil {
 		slog.Error("fleet: promises", "err", err)
 		return 0
 	}
-	outcome, err := a.Log.Propose(ctx, logentry.Entry{Kind: logentry.KindContracts, ProposedBy: a.Name, ProposedAt: at.Milliseconds(), Reason: why, Body: body})
+	outcome, err := a.Log.Propose(ctx, logentry.Entry{Kind: logentry.KindContracts, ProposedBy: a.Name, ProposedAt: at.Milliseconds(), Reason: reason, Body: body})
 	switch {
 	case err != nil:
-		slog.Warn("fleet: promises: a step was not decided", "why", why, "err", err)
+		slog.Warn("fleet: promises: a step was not decided", "why", reason, "err", err)
 	case !outcome.Accepted:
-		slog.Warn("fleet: promises: a step was not taken", "why", why, "index", outcome.Index, "reason", outcome.Reason)
+		slog.Warn("fleet: promises: a step was not taken", "why", reason, "index", outcome.Index, "reason", outcome.Reason)
 	default:
-		slog.Info("fleet: promises", "why", why, "index", outcome.Index)
+		slog.Info("fleet: promises", "why", reason, "index", outcome.Index)
 	}
 	return outcome.Index
 }
--- a/internal/fleet/agent/promises_regions.go
+++ b/internal/fleet/agent/promises_regions.go
@@ -11,109 +11,109 @@
 )
 
 // part is how many set-ups were counted in a part of time that is over.
-type part struct {
-	slot                int64
-	contracts, inRegion map[string]float64
+type intervalCounts struct {
+	interval             int64
+	byContract, byRegion map[string]float64
 }
 
 // count adds up what was seen. A part in which nobody measured anything counts as well, once
 // a later one has come.
-func (k *keeping) count(now time.Duration, seen []slo.Observation) {
-	for _, w := range seen {
-		if n := len(k.parts); n == 0 || k.parts[n-1].slot < w.Interval {
-			k.parts = append(k.parts, part{w.Interval, map[string]float64{}, map[string]float64{}})
+func (k *objectiveKeeper) countSetups(now time.Duration, observations []slo.Observation) {
+	for _, observation := range observations {
+		if n := len(k.intervals); n == 0 || k.intervals[n-1].interval < observation.Interval {
+			k.intervals = append(k.intervals, intervalCounts{observation.Interval, map[string]float64{}, map[string]float64{}})
 		}
-		p, all := &k.parts[len(k.parts)-1], float64(w.Histogram.Count())
-		p.contracts[w.Contract] += all
-		p.inRegion[w.Region] += all
+		counts, setups := &k.intervals[len(k.intervals)-1], float64(observation.Histogram.Count())
+		counts.byContract[observation.Contract] += setups
+		counts.byRegion[observation.Region] += setups
 	}
 	last := int64((k.ScaledTime(now)-k.Config.LateSampleTimeout)/k.Config.SampleInterval) - 1
-	k.parts = slices.DeleteFunc(k.parts, func(p part) bool { return p.slot <= last-int64(k.Config.EvidenceIntervals) })
+	k.intervals = slices.DeleteFunc(k.intervals, func(counts intervalCounts) bool { return counts.interval <= last-int64(k.Config.EvidenceIntervals) })
 }
 
 // demand is set-ups a second by contract and by region, of the Config's seconds.
-func (k *keeping) demand() (contracts, inRegion map[string]float64) {
-	contracts, inRegion = map[string]float64{}, map[string]float64{}
-	if len(k.parts) == 0 {
-		return contracts, inRegion
+func (k *objectiveKeeper) setupRates() (byContract, byRegion map[string]float64) {
+	byContract, byRegion = map[string]float64{}, map[string]float64{}
+	if len(k.intervals) == 0 {
+		return byContract, byRegion
 	}
-	span := float64(k.parts[len(k.parts)-1].slot-k.parts[0].slot+1) * k.Config.SampleInterval.Seconds()
-	for _, p := range k.parts {
-		for name, n := range p.contracts {
-			contracts[name] += n / span
+	seconds := float64(k.intervals[len(k.intervals)-1].interval-k.intervals[0].interval+1) * k.Config.SampleInterval.Seconds()
+	for _, counts := range k.intervals {
+		for name, n := range counts.byContract {
+			byContract[name] += n / seconds
 		}
-		for name, n := range p.inRegion {
-			inRegion[name] += n / span
+		for name, n := range counts.byRegion {
+			byRegion[name] += n / seconds
 		}
 	}
-	return contracts, inRegion
+	return byContract, byRegion
 }
 
 // sight is what members together see of a zone.
-type sight struct{ servers, loads []float64 }
+type zoneObservations struct{ warmEndpoints, loads []float64 }
 
 // little is the part of what a region bears below which it serves nobody else: its load and
 // what was counted are of two times.
-const little = 0.1
+const minOtherTraffic = 0.1
 
 // regions says what each region bears and which part of it postures leave, by what members
 // see. Regions are named sets of zones, and zones that are in none.
-func (k *keeping) regions(s zonestatus.State, words []zonestatus.Report, members []zonestatus.Member) []slo.Region {
-	from, seen := map[string]bool{k.zone: true}, map[string]*sight{}
+func (k *objectiveKeeper) regions(state zonestatus.State, reports []zonestatus.Report, members []zonestatus.Member) []slo.Region {
+	observingZones, zones := map[string]bool{k.zone: true}, map[string]*zoneObservations{}
 	alive := map[string]bool{k.name: true}
 	for _, m := range members {
 		if m.Alive {
-			from[m.Zone], alive[m.Name] = true, true
+			observingZones[m.Zone], alive[m.Name] = true, true
 		}
 	}
-	for _, w := range words {
-		for _, z := range w.Observations {
-			if !alive[w.Member] {
+	for _, report := range reports {
+		for _, z := range report.Observations {
+			if !alive[report.Member] {
 				break
 			}
-			if seen[z.Zone] == nil {
-				seen[z.Zone] = &sight{}
+			if zones[z.Zone] == nil {
+				zones[z.Zone] = &zoneObservations{}
 			}
 			warm := float64(z.Endpoints-z.WarmingUp) + float64(z.WarmingUp)*k.Zones.ColdCapacityFraction
-			seen[z.Zone].servers = append(seen[z.Zone].servers, warm)
+			zones[z.Zone].warmEndpoints = append(zones[z.Zone].warmEndpoints, warm)
 			if z.Load >= 0 {
-				seen[z.Zone].loads = append(seen[z.Zone].loads, z.Load)
+				zones[z.Zone].loads = append(zones[z.Zone].loads, z.Load)
 			}
 		}
 	}
-	left, rate := postures(s, from)
-	_, counted := k.demand()
-	of := map[string]*slo.Region{}
-	for _, name := range slices.Sorted(maps.Keys(seen)) {
-		z, region := seen[name], cmp.Or(k.Zones.RegionOf(name), name)
-		bears := median(z.servers) * k.Zones.EndpointSetupRate / float64(max(k.TimeScale, 1))
+	shares, rates := strictestLimits(state, observingZones)
+	_, setupRates := k.setupRates()
+	byName := map[string]*slo.Region{}
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		z, region := zones[name], cmp.Or(k.Zones.RegionOf(name), name)
+		capacity := median(z.warmEndpoints) * k.Zones.EndpointSetupRate / float64(max(k.TimeScale, 1))
 		usable, load := 1.0, -1.0
-		if share, bounded := left[name]; bounded {
+		if share, bounded := shares[name]; bounded {
 			usable = share
 		}
-		if most := rate[name] / float64(max(k.TimeScale, 1)); most > 0 && most < usable*bears {
-			usable = most / bears
+		if maxRate := rates[name] / float64(max(k.TimeScale, 1)); maxRate > 0 && maxRate < usable*capacity {
+			usable = maxRate / capacity
 		}
 		if len(z.loads) > 0 {
 			load = median(z.loads)
 		}
-		r := of[region]
+		r := byName[region]
 		if r == nil {
 			r = &slo.Region{Name: region, Load: -1}
-			of[region] = r
+			byName[region] = r
 		}
-		if all := r.Capacity + bears; all > 0 {
-			r.UsableFraction = (r.UsableFraction*r.Capacity + usable*bears) / all
+		if all := r.Capacity + capacity; all > 0 {
+			r.UsableFraction = (r.UsableFraction*r.Capacity + usable*capacity) / all
 			if load >= 0 {
-				r.Load = (max(r.Load, 0)*r.Capacity + load*bears) / all
+				r.Load = (max(r.Load, 0)*r.Capacity + load*capacity) / all
 			}
 		}
-		r.Capacity += bears
+		r.Capacity += capacity
 	}
 	var all []slo.Region
-	for _, name := range slices.Sorted(maps.Keys(of)) {
-		r := of[name]
-		if other := r.Load*r.Capacity - counted[name]; other > little*r.Capacity {
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		r := byName[name]
+		if other := r.Load*r.Capacity - setupRates[name]; other > minOtherTraffic*r.Capacity {
 			r.OtherTraffic = other
 		}
 		all = append(all, *r)
@@ -123,26 +123,26 @@
 
 // postures are the least share and rate at which any zone with members may use another: a
 // contract is steered for all nodes alike, so it goes only where all of them may.
-func postures(s zonestatus.State, from map[string]bool) (share, rate map[string]float64) {
-	share, rate = map[string]float64{}, map[string]float64{}
-	for _, viewpoint := range slices.Sorted(maps.Keys(from)) {
-		for _, b := range s.TrafficLimits(viewpoint) {
-			if least, ok := share[b.Zone]; !ok || b.Share < least {
-				share[b.Zone] = b.Share
+func strictestLimits(state zonestatus.State, observingZones map[string]bool) (shares, rates map[string]float64) {
+	shares, rates = map[string]float64{}, map[string]float64{}
+	for _, observingZone := range slices.Sorted(maps.Keys(observingZones)) {
+		for _, limit := range state.TrafficLimits(observingZone) {
+			if smallest, ok := shares[limit.Zone]; !ok || limit.Share < smallest {
+				shares[limit.Zone] = limit.Share
 			}
-			if b.Rate > 0 && (rate[b.Zone] == 0 || b.Rate < rate[b.Zone]) {
-				rate[b.Zone] = b.Rate
+			if limit.Rate > 0 && (rates[limit.Zone] == 0 || limit.Rate < rates[limit.Zone]) {
+				rates[limit.Zone] = limit.Rate
 			}
 		}
 	}
-	return share, rate
+	return shares, rates
 }
 
 // median is the lower one, so that few who say too much change nothing.
-func median(list []float64) float64 {
-	if len(list) == 0 {
+func median(values []float64) float64 {
+	if len(values) == 0 {
 		return 0
 	}
-	slices.Sort(list)
-	return list[(len(list)-1)/2]
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -13,7 +13,7 @@
 func TestRegions(t *testing.T) {
 	cfg := zonestatus.DefaultConfig()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
-	k := &keeping{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
+	k := &objectiveKeeper{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
 	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
 	see := func(member string, servers int, load float64) zonestatus.Report {
 		return zonestatus.Report{Member: member, Observations: []zonestatus.Observation{{Zone: "a", Endpoints: servers, Load: load}, {Zone: "b", Endpoints: servers, Load: -1}, {Zone: "c", Endpoints: servers, WarmingUp: servers, Load: load}}}
@@ -43,20 +43,20 @@
 		at   string
 		want int
 	}{"known": {"b", 1}, "elsewhere": {"c", 0}, "a stranger": {"", 0}} {
-		k := &keeping{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }}, name: "n1",
-			fleet: slo.NewAggregator(slo.DefaultConfig()), steer: slo.NewController(slo.DefaultConfig())}
+		k := &objectiveKeeper{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }}, name: "n1",
+			aggregator: slo.NewAggregator(slo.DefaultConfig()), controller: slo.NewController(slo.DefaultConfig())}
 		members := []zonestatus.Member{{Name: "n2", Zone: tt.at, Alive: true}}
 		if tt.at == "" {
 			members = nil
 		}
 		regions := []slo.Region{{Name: "a"}}
-		k.turn(over, contracts, regions, members)
+		k.closeIntervals(over, contracts, regions, members)
 		k.merge(over, *s)
 		k.merge(over, *s)
-		k.turn(over+2*slo.DefaultConfig().SampleInterval, contracts, regions, members)
-		demand, _ := k.demand()
-		if len(k.seen) != tt.want || tt.want > 0 && demand["gold"] != 0.2 {
-			t.Errorf("%s: %+v, demand %v", name, k.seen, demand)
+		k.closeIntervals(over+2*slo.DefaultConfig().SampleInterval, contracts, regions, members)
+		demand, _ := k.setupRates()
+		if len(k.observations) != tt.want || tt.want > 0 && demand["gold"] != 0.2 {
+			t.Errorf("%s: %+v, demand %v", name, k.observations, demand)
 		}
 	}
 }
