--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -23,7 +23,7 @@
 var rootKey = ed25519.NewKeyFromSeed([]byte("the root of the tests' own fleet"))
 
 // signed is an operator's entry with a body, as text.
-func signed(kind logentry.Kind, body string) string {
+func signedEntry(kind logentry.Kind, body string) string {
 	e := logentry.Entry{Kind: kind, ProposedAt: 1, Reason: "a test", Body: json.RawMessage(body), KeyName: account.KeyName(rootKey.Public().(ed25519.PublicKey))}
 	e.Signature = ed25519.Sign(rootKey, e.SignedBytes())
 	raw, err := json.Marshal(e)
@@ -35,14 +35,14 @@
 
 // Postures and allocations never come by the port, signed or not, and nothing that is not
 // signed.
-func TestWhatIsTheFleetsOwn(t *testing.T) {
+func TestOperatorsCannotProposeFleetDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, t.Context())
+		w := newTestFleet(t, t.Context())
 		for _, tt := range []struct{ entry, want string }{
 			{`{"kind":"zones","by":"","at":1,"body":{"base":0,"set":[],"zones":["a"]}}`, "postures"},
-			{signed(logentry.KindZones, `{"base":0,"set":[],"zones":["a"]}`), "postures"},
-			{signed(logentry.KindContracts, `{"base":0,"steer":[{"contract":"gold","shares":{"a":1}}]}`), "allocations"},
-			{signed(logentry.KindContracts, `{"base":0,"steal":[]}`), "steal"},
+			{signedEntry(logentry.KindZones, `{"base":0,"set":[],"zones":["a"]}`), "postures"},
+			{signedEntry(logentry.KindContracts, `{"base":0,"steer":[{"contract":"gold","shares":{"a":1}}]}`), "allocations"},
+			{signedEntry(logentry.KindContracts, `{"base":0,"steal":[]}`), "steal"},
 			{`{"kind":"contracts","by":"","at":1,"body":{"base":0}}`, "not signed"},
 			{`{"kind":"accounts","by":"","at":1,"body":{"base":0}}`, "not signed"},
 		} {
@@ -53,7 +53,7 @@
 				}
 			}
 		}
-		if i := w.ledger.View().State.Index; i != 0 {
+		if i := w.log.View().State.Index; i != 0 {
 			t.Errorf("the record is at %d", i)
 		}
 	})
@@ -61,11 +61,11 @@
 
 // A team asks for more than its account has, an account is cut, and the node hears of what
 // was taken, and only of that.
-func TestRefusedForTheParentsLimit(t *testing.T) {
+func TestAccountChangesReachTheNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(t, ctx)
-		w.ledger.change(func(v *replog.View) { v.WithinLease, v.ConfirmedAt = true, time.Now() })
+		w := newTestFleet(t, ctx)
+		w.log.change(func(v *replog.View) { v.WithinLease, v.ConfirmedAt = true, time.Now() })
 		done := make(chan struct{})
 		go func() { defer close(done); w.agent.Run(ctx) }()
 		said := agentapi.Report{}
@@ -82,7 +82,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			answer, err := w.node.ask(string(raw))
+			answer, err := w.nodeClient.request(string(raw))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -92,12 +92,12 @@
 			}
 			if wire, ok := gathered.AddTable(&told); ok {
 				raw, _ := json.Marshal(wire.Set)
-				w.write("agent", "to its node: whole %v, routes %s, gone %v", wire.Complete, raw, wire.Removed)
+				w.writeTranscript("agent", "to its node: whole %v, routes %s, gone %v", wire.Complete, raw, wire.Removed)
 				said.TableIndex = wire.Index
 			}
 			if r, ok := gathered.AddLease(&told); ok {
 				raw, _ := json.Marshal(r.Allocated)
-				w.write("agent", "to its node: rights of half %d %s", r.HalfEpoch%2, raw)
+				w.writeTranscript("agent", "to its node: rights of half %d %s", r.HalfEpoch%2, raw)
 			}
 		}
 		const route = `"limits":{"open":-1,"rate":%d,"retries":-1,"probes":-1}`
@@ -112,18 +112,18 @@
 			fmt.Sprintf(`{"do":"limits","path":"acme","was":1,"shrink":"proportion","node":{`+limits+`}}`, 30, 8),
 			`{"do":"no-route","path":"acme/web","name":"r"}`,
 		} {
-			body := fmt.Sprintf(`{"base":%d,"ops":[%s]}`, w.ledger.View().State.Accounts.Version, op)
-			w.write("operator", "proposes, signed by the root: %s", body)
-			c := newTalk(w.dial())
-			answer, err := c.ask(`{"ask":"propose","entry":` + signed(logentry.KindAccounts, body) + `}`)
+			body := fmt.Sprintf(`{"base":%d,"ops":[%s]}`, w.log.View().State.Accounts.Version, op)
+			w.writeTranscript("operator", "proposes, signed by the root: %s", body)
+			c := newAPIClient(w.dial())
+			answer, err := c.request(`{"ask":"propose","entry":` + signedEntry(logentry.KindAccounts, body) + `}`)
 			if err != nil {
 				t.Fatal(err)
 			}
 			_ = c.conn.Close()
-			w.write("agent", "%s", strings.TrimSpace(answer))
+			w.writeTranscript("agent", "%s", strings.TrimSpace(answer))
 			node()
 		}
-		goldie.New(t).Assert(t, "accounts", w.out.Bytes())
+		goldie.New(t).Assert(t, "accounts", w.transcript.Bytes())
 		cancel()
 		<-done
 	})
@@ -131,7 +131,7 @@
 
 // What a word that was cut does not name counts as used as much as the most of what was left
 // out; nobody's limits that need no reckoning are filled in, and others' words stay whole.
-func TestCutWords(t *testing.T) {
+func TestOmittedUsageCountsAsTheLargestOmitted(t *testing.T) {
 	free := account.Limits{Connections: 5, SetupRate: -1, RetryRate: -1, ProbeRate: -1}
 	s := &logentry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
 	word := func(half int64, rest float64) gossip.Usage {
--- a/internal/fleet/agent/exchange_test.go
+++ b/internal/fleet/agent/exchange_test.go
@@ -17,7 +17,7 @@
 // play runs a script for so long: members speak at 25 ms after each tenth of a second, the
 // node asks at 50 ms, and operators at 75 ms. Of the node's exchange those lines are written
 // whose word on zones is news.
-func (w *world) play(t *testing.T, ctx context.Context, end time.Duration, script map[time.Duration]func()) {
+func (w *testFleet) play(t *testing.T, ctx context.Context, end time.Duration, script map[time.Duration]func()) {
 	done := make(chan struct{})
 	go func() { defer close(done); w.agent.Run(ctx) }()
 	last := ""
@@ -26,13 +26,13 @@
 			do()
 		}
 		time.Sleep(25 * time.Millisecond)
-		w.hear(seq + 1)
+		w.receiveReports(seq + 1)
 		time.Sleep(25 * time.Millisecond)
-		line, err := json.Marshal(agentapi.Report{QuotaUsage: w.spending()})
+		line, err := json.Marshal(agentapi.Report{QuotaUsage: w.quotaUsage()})
 		if err != nil {
 			t.Fatal(err)
 		}
-		answer, err := w.node.ask(string(line))
+		answer, err := w.nodeClient.request(string(line))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -40,13 +40,13 @@
 		if err := json.Unmarshal([]byte(answer), &told); err != nil {
 			t.Fatal(err)
 		}
-		w.half = told.Period
+		w.halfEpoch = told.Period
 		if now, err := json.Marshal(told.Zones); err != nil || string(now) != last {
-			if w.write("node", "%s", line); seq > 0 {
-				w.out.Truncate(w.out.Len() - len(line) - 1)
-				w.out.WriteString("...\n")
+			if w.writeTranscript("node", "%s", line); seq > 0 {
+				w.transcript.Truncate(w.transcript.Len() - len(line) - 1)
+				w.transcript.WriteString("...\n")
 			}
-			w.write("agent", "%s", strings.TrimSpace(answer))
+			w.writeTranscript("agent", "%s", strings.TrimSpace(answer))
 			last = string(now)
 		}
 		time.Sleep(25 * time.Millisecond)
@@ -60,28 +60,28 @@
 
 // A zone fails, is left by the record's word and is returned to; meanwhile the record is
 // not heard for a while, and operators ask.
-func TestExchange(t *testing.T) {
+func TestZoneEvacuationAndRecoveryTranscript(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const end = 9 * time.Second
 		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
 		defer cancel()
-		w := newWorld(t, ctx)
+		w := newTestFleet(t, ctx)
 		operator := func(line string) func() {
 			return func() {
-				w.write("operator", "%s", line)
-				c := newTalk(w.dial())
-				answer, err := c.ask(line)
+				w.writeTranscript("operator", "%s", line)
+				c := newAPIClient(w.dial())
+				answer, err := c.request(line)
 				if err != nil {
 					t.Error(err)
 				}
-				w.write("agent", "%s", strings.TrimSpace(answer))
+				w.writeTranscript("agent", "%s", strings.TrimSpace(answer))
 				_ = c.conn.Close()
 			}
 		}
 		hears := func(fresh bool) func() {
 			return func() {
-				w.write("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
-				w.ledger.change(func(v *replog.View) {
+				w.writeTranscript("record", "%s", map[bool]string{true: "is heard", false: "is not heard any more"}[fresh])
+				w.log.change(func(v *replog.View) {
 					if v.WithinLease = fresh; fresh {
 						v.ConfirmedAt = time.Now()
 					}
@@ -90,8 +90,8 @@
 		}
 		fails := func(share float64) func() {
 			return func() {
-				w.write("zone c", "%.0f %% of all attempts fail", 100*share)
-				w.failed["c"] = share
+				w.writeTranscript("zone c", "%.0f %% of all attempts fail", 100*share)
+				w.failureShare["c"] = share
 			}
 		}
 		const late = 75 * time.Millisecond
@@ -108,7 +108,7 @@
 			1300*time.Millisecond + late: operator(`{"ask":"propose","entry":{"knid":"zones"}}`),
 			1400*time.Millisecond + late: operator(`{"ask":`),
 		})
-		goldie.New(t).Assert(t, "exchange", w.out.Bytes())
+		goldie.New(t).Assert(t, "exchange", w.transcript.Bytes())
 	})
 }
 
@@ -118,13 +118,13 @@
 		const end = 6 * time.Second
 		ctx, cancel := context.WithTimeout(t.Context(), end-10*time.Millisecond)
 		defer cancel()
-		w := newWorld(t, ctx)
-		w.ledger.change(func(v *replog.View) { v.WithinLease = true })
-		w.ledger.stuck = true
-		w.failed["c"] = 1
-		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.ledger.stuck = false }})
-		if s := w.ledger.View().State; w.ledger.most != 1 || len(s.Zones.TrafficLimits("a")) != 1 || w.ledger.asked != 0 {
-			t.Errorf("%d proposals at once, then %+v", w.ledger.most, s.Zones)
+		w := newTestFleet(t, ctx)
+		w.log.change(func(v *replog.View) { v.WithinLease = true })
+		w.log.blocked = true
+		w.failureShare["c"] = 1
+		w.play(t, ctx, end, map[time.Duration]func(){4 * time.Second: func() { w.log.blocked = false }})
+		if s := w.log.View().State; w.log.maxPending != 1 || len(s.Zones.TrafficLimits("a")) != 1 || w.log.pending != 0 {
+			t.Errorf("%d proposals at once, then %+v", w.log.maxPending, s.Zones)
 		}
 	})
 }
--- a/internal/fleet/agent/promises_test.go
+++ b/internal/fleet/agent/promises_test.go
@@ -10,7 +10,7 @@
 
 // Regions are what members see together, within what postures leave; who says too much
 // changes nothing, nor does who has left.
-func TestRegions(t *testing.T) {
+func TestRegionsCombineMembersReports(t *testing.T) {
 	cfg := zonestatus.DefaultConfig()
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
 	k := &objectiveKeeper{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
@@ -30,7 +30,7 @@
 }
 
 // A sample counts where its member is there and stands where it says, and once.
-func TestSamplesOfMembers(t *testing.T) {
+func TestSamplesCountOnlyFromTheMembersZone(t *testing.T) {
 	now := 1000 * time.Hour
 	tally := slo.NewRecorder(slo.DefaultConfig(), "n2", "b", 1)
 	contracts := slo.State{Version: 1, Contracts: []slo.Contract{{Name: "gold"}}}
--- a/internal/fleet/agent/stored_test.go
+++ b/internal/fleet/agent/stored_test.go
@@ -19,7 +19,7 @@
 }
 
 // The words that the answer to the ask "state" has for postures and for members' statuses.
-func TestWordsInAnswersToOperators(t *testing.T) {
+func TestStatusWordsInOperatorAnswers(t *testing.T) {
 	got := fmt.Sprint(zonestatus.Active, zonestatus.Suspect, zonestatus.Evacuating, zonestatus.Evacuated, zonestatus.Recovering, zonestatus.HeldBack, quota.Alive, quota.Failed, quota.Left)
 	if want := "open suspect leaving left returning held alive failed left"; got != want {
 		t.Errorf("%s, want %s", got, want)
--- a/internal/fleet/agent/world_test.go
+++ b/internal/fleet/agent/world_test.go
@@ -24,52 +24,52 @@
 
 // ledger is a record of one voter without sockets: the real state and rules, committed
 // after 20 ms.
-type ledger struct {
-	mu    sync.Mutex
-	view  replog.View
-	woken chan struct{}
-	stuck bool // proposals are not decided
-	asked int  // proposals under way
-	most  int  // at once
+type fakeLog struct {
+	mu         sync.Mutex
+	view       replog.View
+	changed    chan struct{}
+	blocked    bool // proposals are not decided
+	pending    int  // proposals under way
+	maxPending int  // at once
 }
 
-func newLedger(t *testing.T, g logentry.Genesis) *ledger {
+func newFakeLog(t *testing.T, g logentry.Genesis) *fakeLog {
 	s, err := logentry.NewState(g)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &ledger{view: replog.View{State: s, Role: "leader", Leader: "n1"}, woken: make(chan struct{})}
+	return &fakeLog{view: replog.View{State: s, Role: "leader", Leader: "n1"}, changed: make(chan struct{})}
 }
 
-func (l *ledger) View() replog.View {
+func (l *fakeLog) View() replog.View {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.view
 }
 
-func (l *ledger) Changed() <-chan struct{} {
+func (l *fakeLog) Changed() <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.woken
+	return l.changed
 }
 
-func (l *ledger) change(f func(v *replog.View)) {
+func (l *fakeLog) change(f func(v *replog.View)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f(&l.view)
-	close(l.woken)
-	l.woken = make(chan struct{})
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
-func (l *ledger) IsLeader() bool { return l.View().WithinLease }
+func (l *fakeLog) IsLeader() bool { return l.View().WithinLease }
 
-func (l *ledger) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
+func (l *fakeLog) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
 	l.mu.Lock()
-	l.asked++
-	l.most = max(l.most, l.asked)
-	stuck := l.stuck
+	l.pending++
+	l.maxPending = max(l.maxPending, l.pending)
+	stuck := l.blocked
 	l.mu.Unlock()
-	defer func() { l.mu.Lock(); l.asked--; l.mu.Unlock() }()
+	defer func() { l.mu.Lock(); l.pending--; l.mu.Unlock() }()
 	if stuck {
 		<-ctx.Done()
 		return o, fmt.Errorf("%w: %w", replog.ErrOutcomeUnknown, ctx.Err())
@@ -84,49 +84,49 @@
 }
 
 // world is an agent with its node and five other members, two in each of three zones.
-type world struct {
-	agent  *Agent
-	ledger *ledger
-	failed map[string]float64 // share of attempts into a zone that fail, as all see it
-	half   int64
-	node   *talk
-	dial   func() net.Conn
-	began  time.Time
-	out    bytes.Buffer // the transcript
-}
-
-func newWorld(t *testing.T, ctx context.Context) *world {
+type testFleet struct {
+	agent        *Agent
+	log          *fakeLog
+	failureShare map[string]float64 // share of attempts into a zone that fail, as all see it
+	halfEpoch    int64
+	nodeClient   *apiClient
+	dial         func() net.Conn
+	startedAt    time.Time
+	transcript   bytes.Buffer // the transcript
+}
+
+func newTestFleet(t *testing.T, ctx context.Context) *testFleet {
 	cfg := zonestatus.DefaultConfig()
-	w := &world{ledger: newLedger(t, logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: cfg}), failed: map[string]float64{}, began: time.Now()}
+	w := &testFleet{log: newFakeLog(t, logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: cfg}), failureShare: map[string]float64{}, startedAt: time.Now()}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	m := gossip.NewMember("n1", quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}, quota.Guards{}, clock)
 	m.Zone = "a"
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
 		m.SetMemberStatus(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
-	w.agent = New(Options{Name: "n1", Zone: "a", Gossip: m, Log: w.ledger, Zones: &cfg, LogLease: 2 * time.Second, Clock: clock,
+	w.agent = New(Options{Name: "n1", Zone: "a", Gossip: m, Log: w.log, Zones: &cfg, LogLease: 2 * time.Second, Clock: clock,
 		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6}})
-	l := &pipes{made: make(chan net.Conn), closed: make(chan struct{})}
+	l := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	w.dial = l.dial
 	go func() {
 		if err := agentapi.Serve(ctx, l, w.agent); err != nil {
 			t.Error(err)
 		}
 	}()
-	w.node = newTalk(w.dial())
+	w.nodeClient = newAPIClient(w.dial())
 	return w
 }
 
 // hear has the other members speak.
-func (w *world) hear(seq int) {
+func (w *testFleet) receiveReports(seq int) {
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
 		sights := ""
 		for _, to := range []string{"a", "b", "c"} {
 			bad := 0
-			if w.failed[to] >= 0.5 {
+			if w.failureShare[to] >= 0.5 {
 				bad = 2
 			}
-			sights += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failed[to])
+			sights += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failureShare[to])
 		}
 		w.agent.Gossip.Receive(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
 			i+2, seq, time.Now().UnixNano(), z, sights[1:]))
@@ -134,56 +134,56 @@
 }
 
 // spending is what the node says: it sees what all see.
-func (w *world) spending() (sp balance.QuotaUsage) {
-	sp.Period = w.half
+func (w *testFleet) quotaUsage() (sp balance.QuotaUsage) {
+	sp.Period = w.halfEpoch
 	for _, z := range []string{"a", "b", "c"} {
 		for i := range 2 {
-			sp.Servers = append(sp.Servers, balance.ServerUsage{ID: fmt.Sprint("s-", z, i), Zone: z, Load: 0.4, RecentAttempts: 5, RecentFailures: 5 * w.failed[z]})
+			sp.Servers = append(sp.Servers, balance.ServerUsage{ID: fmt.Sprint("s-", z, i), Zone: z, Load: 0.4, RecentAttempts: 5, RecentFailures: 5 * w.failureShare[z]})
 		}
 	}
 	return sp
 }
 
 // write adds a line to the transcript.
-func (w *world) write(who, format string, args ...any) {
-	fmt.Fprintf(&w.out, "%5.2f  %-9s %s\n", time.Since(w.began).Seconds(), who, fmt.Sprintf(format, args...))
+func (w *testFleet) writeTranscript(who, format string, args ...any) {
+	fmt.Fprintf(&w.transcript, "%5.2f  %-9s %s\n", time.Since(w.startedAt).Seconds(), who, fmt.Sprintf(format, args...))
 }
 
 // talk is one connection.
-type talk struct {
-	conn net.Conn
-	in   *bufio.Reader
+type apiClient struct {
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
-func newTalk(c net.Conn) *talk { return &talk{c, bufio.NewReader(c)} }
+func newAPIClient(c net.Conn) *apiClient { return &apiClient{c, bufio.NewReader(c)} }
 
-func (c *talk) ask(line string) (string, error) {
+func (c *apiClient) request(line string) (string, error) {
 	if _, err := fmt.Fprintln(c.conn, line); err != nil {
 		return "", err
 	}
-	return c.in.ReadString('\n')
+	return c.reader.ReadString('\n')
 }
 
 // pipes is a listener without sockets.
-type pipes struct {
-	made   chan net.Conn
-	closed chan struct{}
-	once   sync.Once
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
 }
 
-func (p *pipes) dial() net.Conn {
+func (p *pipeListener) dial() net.Conn {
 	ours, theirs := net.Pipe()
-	p.made <- theirs
+	p.accepted <- theirs
 	return ours
 }
 
-func (p *pipes) Accept() (net.Conn, error) {
+func (p *pipeListener) Accept() (net.Conn, error) {
 	select {
-	case c := <-p.made:
+	case c := <-p.accepted:
 		return c, nil
 	case <-p.closed:
 		return nil, net.ErrClosed
 	}
 }
-func (p *pipes) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+func (p *pipeListener) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
+func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
