--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -23,7 +23,7 @@
 	"coralrelay/internal/operatorconfig"
 )
 
-type cli struct {
+type command struct {
 	Config      string        `required:"" placeholder:"FILE" help:"The operator's own file, CUE or JSON, that the node has too."`
 	ClockOffset time.Duration `hidden:"" help:"How far this agent's clock is ahead of the machine's, for rehearsals."`
 }
@@ -32,75 +32,75 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	logging.Setup(os.Stderr, false)
-	var c cli
-	kong.Parse(&c, kong.Name("coralagent"),
+	var flags command
+	kong.Parse(&flags, kong.Name("coralagent"),
 		kong.Description("The agent beside one node, through which nodes share limits and verdicts. docs/operate/fleet-limits.md has its keys."))
-	if err := c.run(ctx); err != nil {
+	if err := flags.run(ctx); err != nil {
 		slog.Error("coralagent", "err", err)
 		os.Exit(1)
 	}
 }
 
-func (c *cli) run(ctx context.Context) error {
-	own, err := operatorconfig.Load(c.Config)
+func (c *command) run(ctx context.Context) error {
+	operatorConfig, err := operatorconfig.Load(c.Config)
 	if err != nil {
 		return err
 	}
-	logging.Setup(os.Stderr, own.Log.Format == "json")
-	if err := logging.SetLevel(own.Log.Level); err != nil {
+	logging.Setup(os.Stderr, operatorConfig.Log.Format == "json")
+	if err := logging.SetLevel(operatorConfig.Log.Level); err != nil {
 		return err
 	}
-	f := own.Fleet
-	if f.Agent == "" {
+	fleet := operatorConfig.Fleet
+	if fleet.Agent == "" {
 		return operatorconfig.KeyError{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
 	}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) + c.ClockOffset }
-	m := newMember(f, clock)
-	l, err := net.Listen("tcp", f.Agent)
+	member := newMember(fleet, clock)
+	listener, err := net.Listen("tcp", fleet.Agent)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	var parts sync.WaitGroup
-	defer parts.Wait()
+	var goroutines sync.WaitGroup
+	defer goroutines.Wait()
 	defer cancel()
-	o := agent.Options{Name: f.Name, Zone: f.Zone, Gossip: m, NoLogReason: "off", LogLease: f.ReplicatedLog.Lease.Duration, Clock: clock,
+	options := agent.Options{Name: fleet.Name, Zone: fleet.Zone, Gossip: member, NoLogReason: "off", LogLease: fleet.ReplicatedLog.Lease.Duration, Clock: clock,
 		ClockOffset: c.ClockOffset, AlwaysIsolated: mutation.Enabled("together"), ZoneGuards: zoneGuards()}
-	if f.Zones.Enabled {
-		zones := f.Zones.Config()
-		o.Zones = &zones
+	if fleet.Zones.Enabled {
+		zones := fleet.Zones.Config()
+		options.Zones = &zones
 	}
-	o.SLO = promises(f)
-	if f.ReplicatedLog.IsEnabled() {
-		deal := f.AllocationConfig()
-		o.Accounts = &deal
-		if err := keepRecord(ctx, &parts, f, &o); err != nil {
+	options.SLO = sloOptions(fleet)
+	if fleet.ReplicatedLog.IsEnabled() {
+		leaseConfig := fleet.AllocationConfig()
+		options.Accounts = &leaseConfig
+		if err := startReplica(ctx, &goroutines, fleet, &options); err != nil {
 			// The node beside this agent is served all the same.
 			slog.Error("fleet: the record is not kept, this member acts on what its node sees", "err", err)
-			o.NoLogReason = err.Error()
+			options.NoLogReason = err.Error()
 		}
 	}
-	a := agent.New(o)
-	parts.Go(func() { a.Run(ctx) })
-	served := make(chan error, 1)
+	a := agent.New(options)
+	goroutines.Go(func() { a.Run(ctx) })
+	serveErr := make(chan error, 1)
 	go func() {
 		defer cancel() // without it the node can't ask
-		served <- agentapi.Serve(ctx, l, a)
+		serveErr <- agentapi.Serve(ctx, listener, a)
 	}()
-	slog.Info("fleet agent", "name", f.Name, "bind", f.Bind, "agent", f.Agent, "record", f.ReplicatedLog.IsEnabled(), "zones", f.Zones.Enabled)
-	err = m.Run(ctx, gossip.Config{BindAddress: f.Bind, AdvertiseAddress: f.Advertise, Peers: f.Peers, KeyFile: f.Key,
-		Unencrypted: mutation.Enabled("open"), Interval: f.Interval.Duration, LogOutput: toLog{}})
+	slog.Info("fleet agent", "name", fleet.Name, "bind", fleet.Bind, "agent", fleet.Agent, "record", fleet.ReplicatedLog.IsEnabled(), "zones", fleet.Zones.Enabled)
+	err = member.Run(ctx, gossip.Config{BindAddress: fleet.Bind, AdvertiseAddress: fleet.Advertise, Peers: fleet.Peers, KeyFile: fleet.Key,
+		Unencrypted: mutation.Enabled("open"), Interval: fleet.Interval.Duration, LogOutput: libraryLog{}})
 	cancel()
-	if e := <-served; err == nil {
-		err = e
+	if serveFailure := <-serveErr; err == nil {
+		err = serveFailure
 	}
 	return err
 }
 
 // toLog takes memberlist's and raft's lines, which begin with their level.
-type toLog struct{}
+type libraryLog struct{}
 
-func (toLog) Write(b []byte) (int, error) {
+func (libraryLog) Write(b []byte) (int, error) {
 	text := strings.TrimSpace(string(b))
 	level := slog.LevelDebug
 	if strings.HasPrefix(text, "[ERR") || strings.HasPrefix(text, "[WARN]") {
--- a/cmd/coralagent/parts.go
+++ b/cmd/coralagent/parts.go
@@ -18,15 +18,15 @@
 )
 
 // newMember is this agent's part in gossip.
-func newMember(f operatorconfig.Fleet, clock func() time.Duration) *gossip.Member {
-	cfg := quota.Config{Epoch: f.Epoch.Duration, LeaseTimeout: f.Hold.Duration, ReportTTL: f.Fresh.Duration, RetryRatio: f.Retries, MaxOutlierFraction: f.Shun}
+func newMember(fleet operatorconfig.Fleet, clock func() time.Duration) *gossip.Member {
+	config := quota.Config{Epoch: fleet.Epoch.Duration, LeaseTimeout: fleet.Hold.Duration, ReportTTL: fleet.Fresh.Duration, RetryRatio: fleet.Retries, MaxOutlierFraction: fleet.Shun}
 	guards := quota.Guards{RankedAllocation: mutation.Enabled("ranks"), LeaseExpiry: mutation.Enabled("expire"), Quorum: mutation.Enabled("quorum"), RetryBudget: mutation.Enabled("budget")}
-	m := gossip.NewMember(f.Name, cfg, guards, clock)
-	m.Zone = f.Zone
-	if f.ReplicatedLog.IsEnabled() {
-		m.ReplogAddress = f.ReplicatedLog.AdvertisedAddr()
+	member := gossip.NewMember(fleet.Name, config, guards, clock)
+	member.Zone = fleet.Zone
+	if fleet.ReplicatedLog.IsEnabled() {
+		member.ReplogAddress = fleet.ReplicatedLog.AdvertisedAddr()
 	}
-	return m
+	return member
 }
 
 func zoneGuards() zonestatus.Guards {
@@ -35,37 +35,37 @@
 }
 
 // keepRecord opens the record and runs it until ctx ends.
-func keepRecord(ctx context.Context, parts *sync.WaitGroup, f operatorconfig.Fleet, o *agent.Options) error {
-	key, err := gossip.ReadKey(f.Key)
+func startReplica(ctx context.Context, goroutines *sync.WaitGroup, fleet operatorconfig.Fleet, options *agent.Options) error {
+	key, err := gossip.ReadKey(fleet.Key)
 	if err != nil {
 		return err
 	}
-	root, err := f.ReplicatedLog.RootKey()
+	rootKey, err := fleet.ReplicatedLog.RootKey()
 	if err != nil {
 		return err
 	}
 	var voters []replog.Voter
-	for _, v := range f.ReplicatedLog.Voters {
+	for _, v := range fleet.ReplicatedLog.Voters {
 		voters = append(voters, replog.Voter(v))
 	}
 	peers := func() (all []replog.Peer) {
-		for _, m := range o.Gossip.Members() {
-			if m.Name != f.Name && m.ReplogAddress != "" && m.Status == quota.Alive {
+		for _, m := range options.Gossip.Members() {
+			if m.Name != fleet.Name && m.ReplogAddress != "" && m.Status == quota.Alive {
 				all = append(all, replog.Peer{Name: m.Name, Addr: m.ReplogAddress, Index: m.LogIndex})
 			}
 		}
 		return all
 	}
-	r, err := replog.Open(replog.Options{Name: f.Name, Zone: f.Zone, Dir: f.ReplicatedLog.Dir, Bind: f.ReplicatedLog.Bind, Advertise: f.ReplicatedLog.Advertise,
-		Voters: voters, Key: key, Genesis: logentry.Genesis{RootKey: root, Zones: f.Zones.Config(), DisabledChecks: accountGuards()}, Lease: f.ReplicatedLog.Lease.Duration,
-		Peers: peers, RaftLogOutput: toLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
+	replica, err := replog.Open(replog.Options{Name: fleet.Name, Zone: fleet.Zone, Dir: fleet.ReplicatedLog.Dir, Bind: fleet.ReplicatedLog.Bind, Advertise: fleet.ReplicatedLog.Advertise,
+		Voters: voters, Key: key, Genesis: logentry.Genesis{RootKey: rootKey, Zones: fleet.Zones.Config(), DisabledChecks: accountGuards()}, Lease: fleet.ReplicatedLog.Lease.Duration,
+		Peers: peers, RaftLogOutput: libraryLog{}, Mutations: replog.Mutations{ApplyUncommitted: mutation.Enabled("commit"), SkipHashCheck: mutation.Enabled("chain"),
 			SkipDiskSync: mutation.Enabled("sync"), AlwaysFresh: mutation.Enabled("stale")}})
 	if err != nil {
 		return err
 	}
-	o.Log = r
-	parts.Go(func() {
-		if err := r.Run(ctx); err != nil {
+	options.Log = replica
+	goroutines.Go(func() {
+		if err := replica.Run(ctx); err != nil {
 			slog.Error("fleet: the record has ended, this member acts on its last state and on what its node sees", "err", err)
 		}
 	})
