--- a/internal/replayguard/crash_test.go
+++ b/internal/replayguard/crash_test.go
@@ -12,42 +12,42 @@
 	"coralrelay/internal/resumetoken"
 )
 
-const childDir = "CORALRELAY_LEDGER_CHILD"
+const childDirVariable = "CORALRELAY_LEDGER_CHILD"
 
 // TestMain lets the test binary stand in for a node that is killed.
 func TestMain(m *testing.M) {
-	if dir := os.Getenv(childDir); dir != "" {
-		killedBeforeAnswer(dir)
+	if dir := os.Getenv(childDirVariable); dir != "" {
+		spendAndKillSelf(dir)
 		return
 	}
 	os.Exit(m.Run())
 }
 
 // killedBeforeAnswer spends a token and dies once that is written, with nobody told.
-func killedBeforeAnswer(dir string) {
+func spendAndKillSelf(dir string) {
 	t := &testing.T{}
-	r := ring(t, "a")
-	l, err := Open(Options{Dir: dir, MaxRecords: 10})
+	keyRing := newTestKeyRing(t, "a")
+	guard, err := Open(Options{Dir: dir, MaxRecords: 10})
 	if err != nil {
 		panic(err)
 	}
-	go l.Run(context.Background())
-	text, tok := token(t, r, l, time.Now(), time.Minute)
+	go guard.Run(context.Background())
+	text, token := mintTestToken(t, keyRing, guard, time.Now(), time.Minute)
 	if err := os.WriteFile(filepath.Join(dir, "token"), []byte(text), 0o600); err != nil {
 		panic(err)
 	}
-	l.Spend(tok, resumetoken.RedemptionID{1}, func(resumetoken.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
-	time.Sleep(patience)
+	guard.Spend(token, resumetoken.RedemptionID{1}, func(resumetoken.Verdict) { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) })
+	time.Sleep(childTimeout)
 }
 
-const patience = 10 * time.Second
+const childTimeout = 10 * time.Second
 
 // A node that is killed between writing the ledger and answering has spent the
 // token: whoever presents it next is told so.
 func TestKilledBeforeAnswer(t *testing.T) {
 	dir := t.TempDir()
 	child := exec.Command(os.Args[0])
-	child.Env = append(os.Environ(), childDir+"="+dir)
+	child.Env = append(os.Environ(), childDirVariable+"="+dir)
 	out, _ := child.CombinedOutput()
 	if status, ok := child.ProcessState.Sys().(syscall.WaitStatus); !ok || status.Signal() != syscall.SIGKILL {
 		t.Fatalf("the child ended with %v: %s", child.ProcessState, out)
@@ -56,12 +56,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tok, err := resumetoken.Open(ring(t, "a"), string(text))
+	token, err := resumetoken.Open(newTestKeyRing(t, "a"), string(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, _ := start(t, Options{Dir: dir})
-	if v := judge(l, &tok, 2); v != resumetoken.Spent || l.RecordCount() != 1 {
-		t.Errorf("presented again: %v, %d kept", v, l.RecordCount())
+	guard, _ := startGuard(t, Options{Dir: dir})
+	if v := spend(guard, &token, 2); v != resumetoken.Spent || guard.RecordCount() != 1 {
+		t.Errorf("presented again: %v, %d kept", v, guard.RecordCount())
 	}
 }
--- a/internal/replayguard/ledger_test.go
+++ b/internal/replayguard/ledger_test.go
@@ -20,7 +20,7 @@
 	"coralrelay/internal/resumetoken"
 )
 
-func ring(t testing.TB, secrets ...string) *resumetoken.KeyRing {
+func newTestKeyRing(t testing.TB, secrets ...string) *resumetoken.KeyRing {
 	var keys []*resumetoken.Key
 	for i, s := range secrets {
 		k, err := resumetoken.NewKey(resumetoken.KeyID(i+1), time.Unix(int64(i), 0), []byte(strings.Repeat(s, resumetoken.SecretSize)))
@@ -29,119 +29,119 @@
 		}
 		keys = append(keys, k)
 	}
-	r, err := resumetoken.NewKeyRing(keys...)
+	keyRing, err := resumetoken.NewKeyRing(keys...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return r
+	return keyRing
 }
 
-func start(t testing.TB, o Options) (*Guard, context.CancelFunc) {
-	if o.MaxRecords == 0 {
-		o.MaxRecords = 1000
+func startGuard(t testing.TB, options Options) (*Guard, context.CancelFunc) {
+	if options.MaxRecords == 0 {
+		options.MaxRecords = 1000
 	}
-	l, err := Open(o)
+	guard, err := Open(options)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { l.Run(ctx); close(done) }()
+	go func() { guard.Run(ctx); close(done) }()
 	stop := func() { cancel(); <-done }
 	t.Cleanup(stop)
-	return l, stop
+	return guard, stop
 }
 
-var number atomic.Uint64
+var tokensMinted atomic.Uint64
 
 // token returns a token that a ledger arbitrates.
-func token(t testing.TB, r *resumetoken.KeyRing, l *Guard, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
-	n := number.Add(1)
-	text, err := resumetoken.Mint(r, issued, resumetoken.Claims{Issuer: "n0", Arbiter: "n0", GuardID: l.ID, FlowKey: "k", Group: "g",
-		Position: resumetoken.Position{Epoch: 1, Offset: n}, Lifetime: life, Nonce: resumetoken.Nonce{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}})
+func mintTestToken(t testing.TB, keyRing *resumetoken.KeyRing, guard *Guard, issued time.Time, life time.Duration) (string, *resumetoken.Token) {
+	number := tokensMinted.Add(1)
+	text, err := resumetoken.Mint(keyRing, issued, resumetoken.Claims{Issuer: "n0", Arbiter: "n0", GuardID: guard.ID, FlowKey: "k", Group: "g",
+		Position: resumetoken.Position{Epoch: 1, Offset: number}, Lifetime: life, Nonce: resumetoken.Nonce{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24)}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	tok, err := resumetoken.Open(r, text)
+	token, err := resumetoken.Open(keyRing, text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return text, &tok
+	return text, &token
 }
 
-func judge(l *Guard, tok *resumetoken.Token, claimant byte) resumetoken.Verdict {
-	return spendAs(l, tok, resumetoken.RedemptionID{claimant})
+func spend(guard *Guard, token *resumetoken.Token, firstByte byte) resumetoken.Verdict {
+	return spendWithID(guard, token, resumetoken.RedemptionID{firstByte})
 }
 
-func spendAs(l *Guard, tok *resumetoken.Token, c resumetoken.RedemptionID) resumetoken.Verdict {
-	tell := make(chan resumetoken.Verdict, 1)
-	l.Spend(tok, c, func(v resumetoken.Verdict) { tell <- v })
-	return <-tell
+func spendWithID(guard *Guard, token *resumetoken.Token, id resumetoken.RedemptionID) resumetoken.Verdict {
+	reply := make(chan resumetoken.Verdict, 1)
+	guard.Spend(token, id, func(v resumetoken.Verdict) { reply <- v })
+	return <-reply
 }
 
 // What was granted stays granted to that claimant alone, over a restart; a ledger
 // whose file is lost is another, and honours nothing that names the old one.
-func TestRestart(t *testing.T) {
-	dir, r := t.TempDir(), ring(t, "a")
-	l, stop := start(t, Options{Dir: dir})
-	_, tok := token(t, r, l, time.Now(), time.Minute)
-	_, unspent := token(t, r, l, time.Now(), time.Minute)
-	if v := judge(l, tok, 1); v != resumetoken.Granted {
+func TestGrantsSurviveRestart(t *testing.T) {
+	dir, keyRing := t.TempDir(), newTestKeyRing(t, "a")
+	guard, stop := startGuard(t, Options{Dir: dir})
+	_, token := mintTestToken(t, keyRing, guard, time.Now(), time.Minute)
+	_, unspent := mintTestToken(t, keyRing, guard, time.Now(), time.Minute)
+	if v := spend(guard, token, 1); v != resumetoken.Granted {
 		t.Fatal(v)
 	}
 	stop()
-	l, stop = start(t, Options{Dir: dir})
-	for claimant, want := range map[byte]resumetoken.Verdict{1: resumetoken.Granted, 2: resumetoken.Spent} {
-		if v := judge(l, tok, claimant); v != want || l.RecordCount() != 1 {
-			t.Errorf("claimant %d: %v, want %v; %d kept", claimant, v, want, l.RecordCount())
+	guard, stop = startGuard(t, Options{Dir: dir})
+	for redemptionID, want := range map[byte]resumetoken.Verdict{1: resumetoken.Granted, 2: resumetoken.Spent} {
+		if v := spend(guard, token, redemptionID); v != want || guard.RecordCount() != 1 {
+			t.Errorf("claimant %d: %v, want %v; %d kept", redemptionID, v, want, guard.RecordCount())
 		}
 	}
 	stop()
 	if err := os.WriteFile(filepath.Join(dir, FileName), []byte("not a ledger"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	l, _ = start(t, Options{Dir: dir})
-	for _, old := range []*resumetoken.Token{tok, unspent} {
-		if v := judge(l, old, 3); v != resumetoken.WrongGuard {
+	guard, _ = startGuard(t, Options{Dir: dir})
+	for _, old := range []*resumetoken.Token{token, unspent} {
+		if v := spend(guard, old, 3); v != resumetoken.WrongGuard {
 			t.Errorf("after its file was lost: %v", v)
 		}
 	}
-	if aside, _ := filepath.Glob(filepath.Join(dir, "*.foreign-*")); len(aside) != 1 {
-		t.Errorf("set aside: %q", aside)
+	if quarantined, _ := filepath.Glob(filepath.Join(dir, "*.foreign-*")); len(quarantined) != 1 {
+		t.Errorf("set aside: %q", quarantined)
 	}
 }
 
-func TestFullAndSweep(t *testing.T) {
+func TestRejectsWhenFullUntilSwept(t *testing.T) {
 	for name, dir := range map[string]string{"file": t.TempDir(), "memory": ""} {
 		t.Run(name, func(t *testing.T) {
-			r := ring(t, "a")
+			keyRing := newTestKeyRing(t, "a")
 			var clock atomic.Int64
 			clock.Store(time.Now().UnixNano())
 			now := func() time.Time { return time.Unix(0, clock.Load()) }
-			l, _ := start(t, Options{Dir: dir, MaxRecords: 3, Now: now})
+			guard, _ := startGuard(t, Options{Dir: dir, MaxRecords: 3, Now: now})
 			var spent []*resumetoken.Token
 			for range 3 {
-				_, tok := token(t, r, l, now(), 30*time.Second)
-				if v := judge(l, tok, 1); v != resumetoken.Granted {
+				_, token := mintTestToken(t, keyRing, guard, now(), 30*time.Second)
+				if v := spend(guard, token, 1); v != resumetoken.Granted {
 					t.Fatal(v)
 				}
-				spent = append(spent, tok)
+				spent = append(spent, token)
 			}
-			_, more := token(t, r, l, now(), time.Hour)
-			if v := judge(l, more, 1); v != resumetoken.GuardFull || l.IsReady() {
-				t.Errorf("one more: %v, ready %v", v, l.IsReady())
+			_, more := mintTestToken(t, keyRing, guard, now(), time.Hour)
+			if v := spend(guard, more, 1); v != resumetoken.GuardFull || guard.IsReady() {
+				t.Errorf("one more: %v, ready %v", v, guard.IsReady())
 			}
-			if v := judge(l, spent[0], 1); v != resumetoken.Granted {
+			if v := spend(guard, spent[0], 1); v != resumetoken.Granted {
 				t.Errorf("asked again while full: %v", v)
 			}
 			clock.Add(int64(2 * time.Minute))
-			l.backend.sweep()
-			for begun := time.Now(); l.RecordCount() > 0; time.Sleep(time.Millisecond) {
-				if time.Since(begun) > 10*time.Second {
-					t.Fatalf("%d records were not forgotten", l.RecordCount())
+			guard.backend.sweep()
+			for startedAt := time.Now(); guard.RecordCount() > 0; time.Sleep(time.Millisecond) {
+				if time.Since(startedAt) > 10*time.Second {
+					t.Fatalf("%d records were not forgotten", guard.RecordCount())
 				}
 			}
-			if v := judge(l, more, 1); v != resumetoken.Granted {
+			if v := spend(guard, more, 1); v != resumetoken.Granted {
 				t.Errorf("with room again: %v", v)
 			}
 		})
@@ -149,19 +149,19 @@
 }
 
 // A ledger that can't write honours nothing, says so, and mints elsewhere.
-func TestBroken(t *testing.T) {
-	r := ring(t, "a")
-	l, _ := start(t, Options{Dir: t.TempDir()})
-	_, tok := token(t, r, l, time.Now(), time.Minute)
-	if err := l.backend.(*durableBackend).store.Close(); err != nil { // the disk is gone
+func TestRejectsAfterWriteFailure(t *testing.T) {
+	keyRing := newTestKeyRing(t, "a")
+	guard, _ := startGuard(t, Options{Dir: t.TempDir()})
+	_, token := mintTestToken(t, keyRing, guard, time.Now(), time.Minute)
+	if err := guard.backend.(*durableBackend).store.Close(); err != nil { // the disk is gone
 		t.Fatal(err)
 	}
-	if v := judge(l, tok, 1); v != resumetoken.GuardUnavailable || l.IsReady() || l.RecordCount() != 0 {
-		t.Errorf("%v, ready %v, kept %d", v, l.IsReady(), l.RecordCount())
+	if v := spend(guard, token, 1); v != resumetoken.GuardUnavailable || guard.IsReady() || guard.RecordCount() != 0 {
+		t.Errorf("%v, ready %v, kept %d", v, guard.IsReady(), guard.RecordCount())
 	}
 }
 
-func TestReadOnlyFolder(t *testing.T) {
+func TestOpenReportsUnusableDirectory(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "file")
 	if err := os.WriteFile(dir, nil, 0o600); err != nil {
 		t.Fatal(err)
@@ -172,15 +172,15 @@
 }
 
 // installation is some nodes that may talk.
-type installation struct {
+type testCluster struct {
 	services []*Service
-	ledgers  []*Guard
+	guards   []*Guard
 	stops    []func()
 	addrs    []string
 }
 
-func install(t testing.TB, n int, terms ServiceConfig) *installation {
-	in := &installation{}
+func startTestCluster(t testing.TB, n int, terms ServiceConfig) *testCluster {
+	cluster := &testCluster{}
 	peers := map[string]string{}
 	var listeners []net.Listener
 	for i := range n {
@@ -189,12 +189,12 @@
 			t.Fatal(err)
 		}
 		listeners = append(listeners, l)
-		in.addrs = append(in.addrs, l.Addr().String())
+		cluster.addrs = append(cluster.addrs, l.Addr().String())
 		peers[fmt.Sprintf("n%d", i)] = l.Addr().String()
 	}
 	for i, listener := range listeners {
 		name := fmt.Sprintf("n%d", i)
-		l, _ := start(t, Options{Dir: t.TempDir(), MaxRecords: 1 << 20})
+		l, _ := startGuard(t, Options{Dir: t.TempDir(), MaxRecords: 1 << 20})
 		s := NewService(name, l, terms, peers)
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
@@ -202,53 +202,53 @@
 		wg.Go(func() { s.Run(ctx) })
 		stop := func() { cancel(); wg.Wait() }
 		t.Cleanup(stop)
-		in.services, in.ledgers, in.stops = append(in.services, s), append(in.ledgers, l), append(in.stops, stop)
+		cluster.services, cluster.guards, cluster.stops = append(cluster.services, s), append(cluster.guards, l), append(cluster.stops, stop)
 	}
-	in.ready(t, n-1)
-	return in
+	cluster.waitUntilReady(t, n-1)
+	return cluster
 }
 
 // ready waits until every node's peers have said how they are.
-func (in *installation) ready(t testing.TB, peers int) {
-	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+func (cluster *testCluster) waitUntilReady(t testing.TB, peers int) {
+	for startedAt := time.Now(); ; time.Sleep(time.Millisecond) {
 		missing := 0
-		for _, s := range in.services {
-			there := 0
+		for _, s := range cluster.services {
+			ready := 0
 			for _, p := range s.peers {
 				if p.Candidate(time.Now()).IsReady {
-					there++
+					ready++
 				}
 			}
-			missing += max(0, peers-there)
+			missing += max(0, peers-ready)
 		}
 		if missing == 0 {
 			return
 		}
-		if time.Since(begun) > 10*time.Second {
+		if time.Since(startedAt) > 10*time.Second {
 			t.Fatal("peers are not ready")
 		}
 	}
 }
 
-func present(token string) resumetoken.Presentation {
+func presentationOf(token string) resumetoken.Presentation {
 	return resumetoken.Presentation{Token: token, FlowKey: "k", Group: "g"}
 }
 
 // A token presented everywhere at once is honoured once, whoever arbitrates.
-func TestOnceAmongNodes(t *testing.T) {
-	in := install(t, 3, ServiceConfig{KeyRing: ring(t, "a", "b"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 5 * time.Second})
-	in.services[1].BeginDraining() // it names others from now on
+func TestGrantsOnceAcrossNodes(t *testing.T) {
+	cluster := startTestCluster(t, 3, ServiceConfig{KeyRing: newTestKeyRing(t, "a", "b"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 5 * time.Second})
+	cluster.services[1].BeginDraining() // it names others from now on
 	for round := range 30 {
-		tok := in.services[round%2].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: uint64(round)})
+		token := cluster.services[round%2].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: uint64(round)})
 		var resumed, floors atomic.Int32
 		var wg sync.WaitGroup
 		for i := range 9 {
 			wg.Go(func() {
-				o := in.services[i%3].Redeem(context.Background(), present(tok))
-				if o.CanResume {
+				outcome := cluster.services[i%3].Redeem(context.Background(), presentationOf(token))
+				if outcome.CanResume {
 					resumed.Add(1)
 				}
-				if o.HasMinPosition && o.Verdict == resumetoken.Spent && o.Position.Offset == uint64(round) {
+				if outcome.HasMinPosition && outcome.Verdict == resumetoken.Spent && outcome.Position.Offset == uint64(round) {
 					floors.Add(1)
 				}
 			})
@@ -261,47 +261,47 @@
 }
 
 // With its arbiter away a token is not honoured, in bounded time; it is unspent.
-func TestArbiterAway(t *testing.T) {
-	in := install(t, 2, ServiceConfig{KeyRing: ring(t, "a"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 150 * time.Millisecond})
-	tok := in.services[0].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: 7})
-	in.stops[0]()
-	begun := time.Now()
-	o := in.services[1].Redeem(context.Background(), present(tok))
-	if o.CanResume || o.Verdict != resumetoken.ArbiterUnreachable || !o.HasMinPosition || o.Position.Offset != 7 {
-		t.Errorf("%+v", o)
-	}
-	if took := time.Since(begun); took > 5*time.Second {
+func TestUnreachableArbiterEndsInBoundedTime(t *testing.T) {
+	cluster := startTestCluster(t, 2, ServiceConfig{KeyRing: newTestKeyRing(t, "a"), TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: 150 * time.Millisecond})
+	token := cluster.services[0].Mint("k", "g", resumetoken.Position{Epoch: 1, Offset: 7})
+	cluster.stops[0]()
+	startedAt := time.Now()
+	outcome := cluster.services[1].Redeem(context.Background(), presentationOf(token))
+	if outcome.CanResume || outcome.Verdict != resumetoken.ArbiterUnreachable || !outcome.HasMinPosition || outcome.Position.Offset != 7 {
+		t.Errorf("%+v", outcome)
+	}
+	if took := time.Since(startedAt); took > 5*time.Second {
 		t.Errorf("it took %v", took)
 	}
 	// Its own leaves too: nobody but itself is left, and its ledger survives.
-	in.services[1].BeginDraining()
-	if m := in.services[1].Mint("k", "g", resumetoken.Position{}); m == "" {
+	cluster.services[1].BeginDraining()
+	if m := cluster.services[1].Mint("k", "g", resumetoken.Position{}); m == "" {
 		t.Error("no token, though its own ledger survives a restart")
 	}
-	if o := in.services[0].Redeem(context.Background(), present(tok)); !o.CanResume {
-		t.Errorf("at its arbiter: %+v", o)
+	if outcome := cluster.services[0].Redeem(context.Background(), presentationOf(token)); !outcome.CanResume {
+		t.Errorf("at its arbiter: %+v", outcome)
 	}
-	s := NewService("n9", in.ledgers[0], ServiceConfig{KeyRing: ring(t, "a"), TokenLifetime: time.Minute, ArbiterTimeout: 20 * time.Millisecond}, nil)
-	if o := s.Redeem(context.Background(), present(tok)); o.Verdict != resumetoken.ArbiterUnreachable {
-		t.Errorf("an arbiter that nobody knows: %+v", o)
+	s := NewService("n9", cluster.guards[0], ServiceConfig{KeyRing: newTestKeyRing(t, "a"), TokenLifetime: time.Minute, ArbiterTimeout: 20 * time.Millisecond}, nil)
+	if outcome := s.Redeem(context.Background(), presentationOf(token)); outcome.Verdict != resumetoken.ArbiterUnreachable {
+		t.Errorf("an arbiter that nobody knows: %+v", outcome)
 	}
 }
 
 // Who has no key gets no verdict, and what is sent to a ledger costs it nothing.
-func TestStrangers(t *testing.T) {
-	r := ring(t, "a")
-	in := install(t, 2, ServiceConfig{KeyRing: r, TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: time.Second})
-	tok := in.services[0].Mint("k", "g", resumetoken.Position{})
-	k, _ := ring(t, "z").Get(1)
-	claim := strings.Repeat("0", 32)
+func TestRejectsRequestsWithoutKey(t *testing.T) {
+	keyRing := newTestKeyRing(t, "a")
+	cluster := startTestCluster(t, 2, ServiceConfig{KeyRing: keyRing, TokenLifetime: time.Minute, ClockSkew: time.Second, ArbiterTimeout: time.Second})
+	token := cluster.services[0].Mint("k", "g", resumetoken.Position{})
+	unknownKey, _ := newTestKeyRing(t, "z").Get(1)
+	redemptionID := strings.Repeat("0", 32)
 	for name, text := range map[string]string{
-		"other secret": authenticatedLine(k, "ask", spendMessage, "c", "1", k.ID.String(), claim, tok),
-		"no seal":      "SPEND c 1 00000001 " + claim + " " + tok + " 00\r\n",
+		"other secret": authenticatedLine(unknownKey, "ask", spendMessage, "c", "1", unknownKey.ID.String(), redemptionID, token),
+		"no seal":      "SPEND c 1 00000001 " + redemptionID + " " + token + " 00\r\n",
 		"endless":      strings.Repeat("x", 100_000),
 		"empty":        "\r\n",
 		"binary":       "\x00\xff\xfe\n",
 	} {
-		conn, err := net.Dial("tcp", in.addrs[0])
+		conn, err := net.Dial("tcp", cluster.addrs[0])
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -313,14 +313,14 @@
 		}
 		_ = conn.Close()
 	}
-	if o := in.services[1].Redeem(context.Background(), present(tok)); !o.CanResume {
-		t.Errorf("the honest client's: %+v", o)
+	if outcome := cluster.services[1].Redeem(context.Background(), presentationOf(token)); !outcome.CanResume {
+		t.Errorf("the honest client's: %+v", outcome)
 	}
 }
 
 // A peer whose answers' seals don't fit, or which calls itself another, is no
 // arbiter.
-func TestLyingPeer(t *testing.T) {
+func TestIgnoresUnauthenticatedPeer(t *testing.T) {
 	for name, answer := range map[string]func(k *resumetoken.Key, challenge, seq string) string{
 		"no key": func(*resumetoken.Key, string, string) string { return "LEDGER 1 n1 00 ready stays 00\r\n" },
 		"old answer": func(k *resumetoken.Key, _, seq string) string {
@@ -334,28 +334,28 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := ring(t, "a")
-		k, _ := r.Get(1)
-		again := make(chan struct{}, 8)
+		keyRing := newTestKeyRing(t, "a")
+		k, _ := keyRing.Get(1)
+		connected := make(chan struct{}, 8)
 		go func() {
 			for {
 				conn, err := listener.Accept()
 				if err != nil {
 					return
 				}
-				again <- struct{}{}
+				connected <- struct{}{}
 				if words, err := readFields(bufio.NewReader(conn), 5); err == nil {
 					_, _ = conn.Write([]byte(answer(k, words[1], words[2])))
 				}
 			}
 		}()
-		p := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resumetoken.KeyRing { return r }}
+		peer := &Peer{Name: "n1", Addr: listener.Addr().String(), ring: func() *resumetoken.KeyRing { return keyRing }}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
-		go func() { p.Run(ctx); close(done) }()
-		<-again
-		<-again // it was hung up on, and called again
-		if p.Candidate(time.Now()).IsReady {
+		go func() { peer.Run(ctx); close(done) }()
+		<-connected
+		<-connected // it was hung up on, and called again
+		if peer.Candidate(time.Now()).IsReady {
 			t.Errorf("%s: believed", name)
 		}
 		cancel()
@@ -364,23 +364,23 @@
 	}
 }
 
-var errNoSpend = errors.New("not granted")
+var errNotGranted = errors.New("not granted")
 
 // BenchmarkRedeem spends tokens at a ledger in a file, with many asking at once.
-func BenchmarkRedeem(b *testing.B) {
-	for name, o := range map[string]Options{"group": {}, "alone": {MaxBatch: 1}, "nosync": {NoSync: true}, "memory": {}} {
+func BenchmarkSpend(b *testing.B) {
+	for name, options := range map[string]Options{"group": {}, "alone": {MaxBatch: 1}, "nosync": {NoSync: true}, "memory": {}} {
 		b.Run(name, func(b *testing.B) {
-			if o.MaxRecords = 1 << 24; name != "memory" {
-				o.Dir = b.TempDir()
+			if options.MaxRecords = 1 << 24; name != "memory" {
+				options.Dir = b.TempDir()
 			}
-			l, _ := start(b, o)
-			r := ring(b, "a")
+			guard, _ := startGuard(b, options)
+			keyRing := newTestKeyRing(b, "a")
 			b.SetParallelism(64)
 			b.RunParallel(func(p *testing.PB) {
 				for p.Next() {
-					_, tok := token(b, r, l, time.Now(), time.Hour)
-					if judge(l, tok, 1) != resumetoken.Granted {
-						b.Error(errNoSpend)
+					_, token := mintTestToken(b, keyRing, guard, time.Now(), time.Hour)
+					if spend(guard, token, 1) != resumetoken.Granted {
+						b.Error(errNotGranted)
 					}
 				}
 			})
@@ -393,17 +393,17 @@
 func TestDayStaysFlat(t *testing.T) {
 	var clock atomic.Int64
 	clock.Store(time.Now().UnixNano())
-	r := ring(t, "a")
-	l, _ := start(t, Options{Dir: t.TempDir(), NoSync: true, MaxRecords: 100_000, Now: func() time.Time { return time.Unix(0, clock.Load()) }})
-	k := l.backend.(*durableBackend)
+	keyRing := newTestKeyRing(t, "a")
+	guard, _ := startGuard(t, Options{Dir: t.TempDir(), NoSync: true, MaxRecords: 100_000, Now: func() time.Time { return time.Unix(0, clock.Load()) }})
+	backend := guard.backend.(*durableBackend)
 	const step, perStep, day = time.Minute, 50, 24 * 60
 	var early, late int64
 	for minute := range day {
 		var wg sync.WaitGroup
 		for range perStep {
-			_, tok := token(t, r, l, time.Unix(0, clock.Load()), step)
+			_, token := mintTestToken(t, keyRing, guard, time.Unix(0, clock.Load()), step)
 			wg.Add(1)
-			l.Spend(tok, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
+			guard.Spend(token, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
 				if v != resumetoken.Granted {
 					t.Errorf("minute %d: %v", minute, v)
 				}
@@ -412,33 +412,33 @@
 		}
 		wg.Wait()
 		clock.Add(int64(step))
-		k.sweep()
+		backend.sweep()
 		if minute == day/10 {
-			early = k.store.Size()
+			early = backend.store.Size()
 		}
 	}
-	late = k.store.Size()
-	if late > early || l.RecordCount() > 4*perStep {
-		t.Errorf("%d bytes after a tenth of the day, %d at its end; %d records", early, late, l.RecordCount())
+	late = backend.store.Size()
+	if late > early || guard.RecordCount() > 4*perStep {
+		t.Errorf("%d bytes after a tenth of the day, %d at its end; %d records", early, late, guard.RecordCount())
 	}
 }
 
 // BenchmarkMillion tells what a million spent tokens take.
-func BenchmarkMillion(b *testing.B) {
+func BenchmarkSpendMillion(b *testing.B) {
 	const records = 1_000_000
-	r := ring(b, "a")
+	keyRing := newTestKeyRing(b, "a")
 	for b.Loop() {
-		l, stop := start(b, Options{Dir: b.TempDir(), MaxRecords: records})
+		guard, stop := startGuard(b, Options{Dir: b.TempDir(), MaxRecords: records})
 		var wg sync.WaitGroup
 		slots := make(chan struct{}, 1000)
 		for range records {
-			var n resumetoken.Nonce
-			_, _ = rand.Read(n[:])
-			_, tok := token(b, r, l, time.Now(), time.Hour)
-			tok.Nonce = n
+			var nonce resumetoken.Nonce
+			_, _ = rand.Read(nonce[:])
+			_, token := mintTestToken(b, keyRing, guard, time.Now(), time.Hour)
+			token.Nonce = nonce
 			slots <- struct{}{}
 			wg.Add(1)
-			l.Spend(tok, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
+			guard.Spend(token, resumetoken.RedemptionID{1}, func(v resumetoken.Verdict) {
 				if v != resumetoken.Granted {
 					b.Error(v)
 				}
@@ -447,7 +447,7 @@
 			})
 		}
 		wg.Wait()
-		file := l.backend.(*durableBackend).store.Size()
+		file := guard.backend.(*durableBackend).store.Size()
 		var m runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&m)
@@ -459,9 +459,9 @@
 
 // BenchmarkBesideForged redeems honest tokens while others present forged ones,
 // ten thousand a second.
-func BenchmarkBesideForged(b *testing.B) {
-	in := install(b, 2, ServiceConfig{KeyRing: ring(b, "a"), TokenLifetime: time.Hour, ClockSkew: time.Second, ArbiterTimeout: time.Second})
-	forged := in.services[0].Mint("k", "g", resumetoken.Position{})
+func BenchmarkRedeemDuringForgedRequests(b *testing.B) {
+	cluster := startTestCluster(b, 2, ServiceConfig{KeyRing: newTestKeyRing(b, "a"), TokenLifetime: time.Hour, ClockSkew: time.Second, ArbiterTimeout: time.Second})
+	forged := cluster.services[0].Mint("k", "g", resumetoken.Position{})
 	forged = forged[:len(forged)-4] + "AAAA"
 	for name, rate := range map[string]int{"without": 0, "with": 10} {
 		b.Run(name, func(b *testing.B) {
@@ -470,25 +470,25 @@
 			wg.Go(func() {
 				for tick := time.NewTicker(time.Millisecond); rate > 0; <-tick.C {
 					for range rate {
-						if ctx.Err() != nil || in.services[1].Redeem(ctx, present(forged)).CanResume {
+						if ctx.Err() != nil || cluster.services[1].Redeem(ctx, presentationOf(forged)).CanResume {
 							return
 						}
 					}
 				}
 			})
-			var took []time.Duration
+			var durations []time.Duration
 			for b.Loop() {
-				tok := in.services[0].Mint("k", "g", resumetoken.Position{})
-				begun := time.Now()
-				if !in.services[1].Redeem(ctx, present(tok)).CanResume {
-					b.Error(errNoSpend)
+				token := cluster.services[0].Mint("k", "g", resumetoken.Position{})
+				startedAt := time.Now()
+				if !cluster.services[1].Redeem(ctx, presentationOf(token)).CanResume {
+					b.Error(errNotGranted)
 				}
-				took = append(took, time.Since(begun))
+				durations = append(durations, time.Since(startedAt))
 			}
 			cancel()
 			wg.Wait()
-			slices.Sort(took)
-			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+			slices.Sort(durations)
+			b.ReportMetric(float64(durations[len(durations)*99/100].Microseconds()), "p99-us")
 		})
 	}
 }
--- a/internal/replayguard/stored_test.go
+++ b/internal/replayguard/stored_test.go
@@ -26,7 +26,7 @@
 // It holds storedTokens, spent and swept at storedTime.
 var update = flag.Bool("update", false, "rewrite testdata/stored")
 
-const storedFolder = "testdata/stored"
+const storedDir = "testdata/stored"
 
 // storedTime lies in window 180000000.
 var storedTime = time.UnixMilli(1_800_000_004_567)
@@ -43,7 +43,7 @@
 // sweptToken was issued a minute before storedTime and expired in the last window swept.
 const sweptToken = "AQAAAAIKGyw9Tl9gcQAAAAAAAADjAAAAAAAAAGcAAAGjGFt3dwAAw1B0IqDVCNsa9YrYp84tErrhQEFCQ0RFRkdISUpLTE1OTwJuMQJuMPfDzUrfSsvaXjqq-ZeJX4k"
 
-func claimant(t testing.TB, text string) resumetoken.RedemptionID {
+func parseRedemptionID(t testing.TB, text string) resumetoken.RedemptionID {
 	t.Helper()
 	b, err := hex.DecodeString(text)
 	if err != nil {
@@ -54,21 +54,21 @@
 
 func openToken(t testing.TB, text string) *resumetoken.Token {
 	t.Helper()
-	tok, err := resumetoken.Open(ring(t, "a", "b"), text)
+	token, err := resumetoken.Open(newTestKeyRing(t, "a", "b"), text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &tok
+	return &token
 }
 
 // startStored starts a ledger whose clock stands still.
-func startStored(t *testing.T, dir string, at time.Time) (*Guard, context.CancelFunc) {
+func startGuardAt(t *testing.T, dir string, at time.Time) (*Guard, context.CancelFunc) {
 	t.Helper()
-	return start(t, Options{Dir: dir, Now: func() time.Time { return at }})
+	return startGuard(t, Options{Dir: dir, Now: func() time.Time { return at }})
 }
 
 // writeLedger makes what the stored file holds.
-func writeLedger(t *testing.T, dir string) {
+func writeStoredGuard(t *testing.T, dir string) {
 	t.Helper()
 	s, err := store.Open(filepath.Join(dir, "ledger.db"), Schema, store.Options{})
 	if err != nil {
@@ -81,10 +81,10 @@
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	l, stop := startStored(t, dir, storedTime)
-	l.backend.sweep()
-	for _, tok := range storedTokens {
-		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
+	guard, stop := startGuardAt(t, dir, storedTime)
+	guard.backend.sweep()
+	for _, token := range storedTokens {
+		if v := spendWithID(guard, openToken(t, token.text), parseRedemptionID(t, token.claimant)); v != resumetoken.Granted {
 			t.Fatal(v)
 		}
 	}
@@ -95,7 +95,7 @@
 func copyStored(t *testing.T) string {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "copy")
-	if err := os.CopyFS(dir, os.DirFS(storedFolder)); err != nil {
+	if err := os.CopyFS(dir, os.DirFS(storedDir)); err != nil {
 		t.Fatal(err)
 	}
 	return dir
@@ -103,7 +103,7 @@
 
 // contents lists what a ledger's file holds, keys below the first bucket and values in
 // hexadecimal digits, and the records of each window.
-func contents(t *testing.T, dir string) (lines []string, records map[resumetoken.Window]int) {
+func fileContents(t *testing.T, dir string) (lines []string, records map[resumetoken.Window]int) {
 	t.Helper()
 	s, err := store.Open(filepath.Join(dir, "ledger.db"), Schema, store.Options{ReadOnly: true})
 	if err != nil {
@@ -135,17 +135,17 @@
 }
 
 // A stored ledger holds what it held, and what is written now holds the same.
-func TestReadsStoredLedger(t *testing.T) {
+func TestReadsStoredGuardFile(t *testing.T) {
 	if *update {
 		dir := t.TempDir()
-		writeLedger(t, dir)
-		_ = os.RemoveAll(storedFolder)
-		if err := os.CopyFS(storedFolder, os.DirFS(dir)); err != nil {
+		writeStoredGuard(t, dir)
+		_ = os.RemoveAll(storedDir)
+		if err := os.CopyFS(storedDir, os.DirFS(dir)); err != nil {
 			t.Fatal(err)
 		}
 	}
 	stored, fresh := copyStored(t), t.TempDir()
-	writeLedger(t, fresh)
+	writeStoredGuard(t, fresh)
 	want := []string{
 		"meta/6964 0a1b2c3d4e5f6071",         // id
 		"meta/6b696e64 6c6564676572",         // kind: ledger
@@ -156,7 +156,7 @@
 		"spent/000000000aba953c/303132333435363738393a3b3c3d3e3f c0c1c2c3c4c5c6c7c8c9cacbcccdcecf", // window 180000060
 	}
 	for name, dir := range map[string]string{"stored": stored, "written now": fresh} {
-		lines, records := contents(t, dir)
+		lines, records := fileContents(t, dir)
 		if !slices.Equal(lines, want) {
 			t.Errorf("%s: it holds\n%s\nwant\n%s", name, strings.Join(lines, "\n"), strings.Join(want, "\n"))
 		}
@@ -167,19 +167,19 @@
 
 	// A clock set back by half a minute: only the stored mark tells that sweptToken is
 	// too old.
-	l, _ := startStored(t, stored, storedTime.Add(-30*time.Second))
-	if l.ID != storedID || !l.IsDurable || l.RecordCount() != 3 {
-		t.Errorf("ledger %x, stays %v, %d records", l.ID, l.IsDurable, l.RecordCount())
+	guard, _ := startGuardAt(t, stored, storedTime.Add(-30*time.Second))
+	if guard.ID != storedID || !guard.IsDurable || guard.RecordCount() != 3 {
+		t.Errorf("ledger %x, stays %v, %d records", guard.ID, guard.IsDurable, guard.RecordCount())
 	}
-	for i, tok := range storedTokens {
-		if v := spendAs(l, openToken(t, tok.text), claimant(t, tok.claimant)); v != resumetoken.Granted {
+	for i, token := range storedTokens {
+		if v := spendWithID(guard, openToken(t, token.text), parseRedemptionID(t, token.claimant)); v != resumetoken.Granted {
 			t.Errorf("token %d by who had it: %v", i, v)
 		}
-		if v := judge(l, openToken(t, tok.text), 1); v != resumetoken.Spent {
+		if v := spend(guard, openToken(t, token.text), 1); v != resumetoken.Spent {
 			t.Errorf("token %d by another: %v", i, v)
 		}
 	}
-	if v := judge(l, openToken(t, sweptToken), 1); v != resumetoken.Expired {
+	if v := spend(guard, openToken(t, sweptToken), 1); v != resumetoken.Expired {
 		t.Errorf("a token that was swept: %v", v)
 	}
 }
@@ -187,7 +187,7 @@
 const wireChallenge = "f0e1d2c3b4a5968778695a4b3c2d1e0f"
 
 // wireLines are what a peer asks on one connection and what it is answered.
-var wireLines = []struct{ ask, answer string }{
+var wireExchanges = []struct{ ask, answer string }{
 	{
 		"HELLO f0e1d2c3b4a5968778695a4b3c2d1e0f 1 00000002 002ca6821ed0088171daca0943dbb49c\r\n",
 		"LEDGER 1 n0 0a1b2c3d4e5f6071 ready stays 4ff22a99c7be96e21d9b622dcf5a931b\r\n",
@@ -203,7 +203,7 @@
 }
 
 // exchange sends a line to a server and returns the line that comes back.
-func exchange(t *testing.T, s *Server, line string) string {
+func roundTrip(t *testing.T, s *Server, line string) string {
 	t.Helper()
 	near, far := net.Pipe()
 	served := make(chan struct{})
@@ -219,42 +219,42 @@
 	return answer
 }
 
-func TestServerLines(t *testing.T) {
-	keys := ring(t, "a", "b")
-	l, _ := startStored(t, copyStored(t), storedTime)
-	s := &Server{Name: "n0", Guard: l, KeyRing: func() *resumetoken.KeyRing { return keys }}
-	for _, line := range wireLines {
-		if answer := exchange(t, s, line.ask); answer != line.answer {
+func TestServerWireFormat(t *testing.T) {
+	keyRing := newTestKeyRing(t, "a", "b")
+	guard, _ := startGuardAt(t, copyStored(t), storedTime)
+	s := &Server{Name: "n0", Guard: guard, KeyRing: func() *resumetoken.KeyRing { return keyRing }}
+	for _, line := range wireExchanges {
+		if answer := roundTrip(t, s, line.ask); answer != line.answer {
 			t.Errorf("%q\nis answered %q\nwant        %q", line.ask, answer, line.answer)
 		}
 	}
-	if answer := exchange(t, s, "SPEND\r\n"); answer != "NO\r\n" {
+	if answer := roundTrip(t, s, "SPEND\r\n"); answer != "NO\r\n" {
 		t.Errorf("a malformed line is answered %q", answer)
 	}
 	s.Guard = NewUnavailable()
 	s.Guard.ID = storedID
-	if answer, want := exchange(t, s, wireLines[0].ask), "LEDGER 1 n0 0a1b2c3d4e5f6071 full goes f24629a2e2db2e7bda416f03f391e0ea\r\n"; answer != want {
+	if answer, want := roundTrip(t, s, wireExchanges[0].ask), "LEDGER 1 n0 0a1b2c3d4e5f6071 full goes f24629a2e2db2e7bda416f03f391e0ea\r\n"; answer != want {
 		t.Errorf("a ledger with no room answers %q, want %q", answer, want)
 	}
 }
 
-func TestPeerLines(t *testing.T) {
-	keys := ring(t, "a", "b")
-	p := &Peer{Name: "n0", ring: func() *resumetoken.KeyRing { return keys }}
-	p.connection = &peerConnection{challenge: wireChallenge, outgoing: make(chan string, 1), pending: map[uint64]*pendingRequest{}}
-	talk := func(i int) {
+func TestPeerWireFormat(t *testing.T) {
+	keyRing := newTestKeyRing(t, "a", "b")
+	peer := &Peer{Name: "n0", ring: func() *resumetoken.KeyRing { return keyRing }}
+	peer.connection = &peerConnection{challenge: wireChallenge, outgoing: make(chan string, 1), pending: map[uint64]*pendingRequest{}}
+	checkExchange := func(i int) {
 		t.Helper()
-		if ask := <-p.connection.outgoing; ask != wireLines[i].ask {
-			t.Errorf("asked %q\nwant  %q", ask, wireLines[i].ask)
+		if request := <-peer.connection.outgoing; request != wireExchanges[i].ask {
+			t.Errorf("asked %q\nwant  %q", request, wireExchanges[i].ask)
 		}
-		if err := p.handleResponse(p.connection, strings.Fields(wireLines[i].answer)); err != nil {
-			t.Errorf("answer %q: %v", wireLines[i].answer, err)
+		if err := peer.handleResponse(peer.connection, strings.Fields(wireExchanges[i].answer)); err != nil {
+			t.Errorf("answer %q: %v", wireExchanges[i].answer, err)
 		}
 	}
-	p.send(p.connection, nil, helloMessage)
-	talk(0)
-	if want := (resumetoken.Candidate{Name: "n0", GuardID: storedID, IsReady: true, IsDurable: true}); p.status != want {
-		t.Errorf("the peer is %+v, want %+v", p.status, want)
+	peer.send(peer.connection, nil, helloMessage)
+	checkExchange(0)
+	if want := (resumetoken.Candidate{Name: "n0", GuardID: storedID, IsReady: true, IsDurable: true}); peer.status != want {
+		t.Errorf("the peer is %+v, want %+v", peer.status, want)
 	}
 	for i, c := range []struct {
 		claimant string
@@ -264,12 +264,12 @@
 		{"d0d1d2d3d4d5d6d7d8d9dadbdcdddedf", resumetoken.Spent},
 	} {
 		answered := make(chan resumetoken.Verdict, 1)
-		by := claimant(t, c.claimant)
+		id := parseRedemptionID(t, c.claimant)
 		go func() {
-			v, _ := p.Spend(context.Background(), storedTokens[1].text, by)
+			v, _ := peer.Spend(context.Background(), storedTokens[1].text, id)
 			answered <- v
 		}()
-		talk(i + 1)
+		checkExchange(i + 1)
 		if v := <-answered; v != c.want {
 			t.Errorf("verdict %v, want %v", v, c.want)
 		}
