--- a/balance/admission.go
+++ b/balance/admission.go
@@ -78,15 +78,15 @@
 // giveUpHopeless answers those whom the last server that they could go to has left, or
 // who are allowed fewer attempts than they have made.
 func (b *Balancer) finishUnplaceable() {
-	var left []*request
+	var unplaceable []*request
 	for _, r := range b.requestsBySequence {
 		if (r.phase == queued || r.phase == drawing) && b.isUnplaceable(r) {
-			left = append(left, r)
+			unplaceable = append(unplaceable, r)
 		}
 	}
 	// Not in the map's order.
-	slices.SortFunc(left, func(r, o *request) int { return cmp.Compare(r.sequence, o.sequence) })
-	for _, r := range left {
+	slices.SortFunc(unplaceable, func(r, o *request) int { return cmp.Compare(r.sequence, o.sequence) })
+	for _, r := range unplaceable {
 		if r.phase == queued || r.phase == drawing { // another's end may have brought its own
 			b.finish(r)
 		}
@@ -97,7 +97,7 @@
 // turn it still has the time to be set up. In order of arrival every request
 // would get its turn when its time is almost up, and all would be in vain.
 func (b *Balancer) admitQueued() {
-	for len(b.queue) > 0 && b.now >= b.backoffEndsAt && float64(b.settingUp) < b.window {
+	for len(b.queue) > 0 && b.now >= b.backoffEndsAt && float64(b.inSetup) < b.window {
 		last := len(b.queue) - 1
 		r := b.queue[last]
 		b.queue = b.queue[:last]
@@ -118,7 +118,7 @@
 	if b.now < b.backoffEndsAt {
 		return
 	}
-	b.window = max(1, float64(b.settingUp)/2)
+	b.window = max(1, float64(b.inSetup)/2)
 	b.backoff = min(max(2*b.backoff, minBackoff), maxBackoff)
 	if b.backoff >= maxBackoff {
 		b.logThrottled("congestion: set-ups are held back, usual load %.2f, %.0f%% of attempts fail",
--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -23,8 +23,8 @@
 	}
 	// Then those that all instances agree on: who follows the group's hash on the ring.
 	i, _ := slices.BinarySearchFunc(b.ring, ringHash(r.Group), compareRingHash)
-	most := len(r.affinityServers) + maxRingServers
-	for k := 0; k < len(b.ring) && len(r.affinityServers) < most; k++ {
+	longest := len(r.affinityServers) + maxRingServers
+	for k := 0; k < len(b.ring) && len(r.affinityServers) < longest; k++ {
 		if h := b.ring[(i+k)%len(b.ring)]; b.constraintShare(r, h) > 0 {
 			r.affinityServers = append(r.affinityServers, h)
 		}
@@ -35,22 +35,22 @@
 // nextHome asks r's next home, or sends r where its draws have decided.
 func (b *Balancer) tryNextAffinityServer(r *request) {
 	for len(r.affinityServers) > 0 {
-		h := r.affinityServers[0]
+		s := r.affinityServers[0]
 		r.affinityServers = r.affinityServers[1:]
-		if h == r.bestServer {
+		if s == r.bestServer {
 			break
 		}
-		known := slices.Contains(r.drawnServers, h)
-		if h.readyIndex < 0 || !b.isAllowed(r, h) || b.rng.Float64() >= b.drawShare(r, h) ||
-			known && (h.probeInFlight || b.faultShare(h) < 1) { // it was drawn, and did not answer
+		wasDrawn := slices.Contains(r.drawnServers, s)
+		if s.readyIndex < 0 || !b.isAllowed(r, s) || b.rng.Float64() >= b.drawShare(r, s) ||
+			wasDrawn && (s.probeInFlight || b.faultShare(s) < 1) { // it was drawn, and did not answer
 			continue
 		}
-		if known || !b.canProbe() {
-			b.decideAffinityServer(r, h, true)
+		if wasDrawn || !b.canProbe() {
+			b.decideAffinityServer(r, s, true)
 			return
 		}
-		r.drawnServers = append(r.drawnServers, h)
-		b.awaitProbe(r, h)
+		r.drawnServers = append(r.drawnServers, s)
+		b.awaitProbe(r, s)
 		return
 	}
 	b.sendAttempt(r, r.bestServer)
--- a/balance/constraints.go
+++ b/balance/constraints.go
@@ -6,7 +6,7 @@
 
 // zoneOf is the fleet's word on s's zone; nil where it has none.
 func (b *Balancer) zoneLimitOf(s *server) *zoneLimit {
-	if !b.hasZoneLimits || b.now >= b.leaseEndsAt {
+	if !b.limitsZones || b.now >= b.leaseEndsAt {
 		return nil
 	}
 	return b.zoneLimits[s.Zone]
@@ -14,14 +14,14 @@
 
 // bound is the part of its draws that s keeps by its zone, and of those by r's bound.
 func (b *Balancer) constraintShare(r *request, s *server) float64 {
-	p := 1.0
+	share := 1.0
 	if z := b.zoneLimitOf(s); z != nil {
-		p = z.share
+		share = z.share
 	}
 	if r.Constraint != nil {
-		p *= r.Constraint.shareOf(s.Zone)
+		share *= r.Constraint.shareOf(s.Zone)
 	}
-	return p
+	return share
 }
 
 // zoneTakes tells whether s's zone has a token left, if it has any.
@@ -31,27 +31,27 @@
 }
 
 // part is the part of a zone's draws that q keeps.
-func (q *ZoneConstraint) shareOf(zone string) float64 {
-	for _, z := range q.Zones {
+func (c *ZoneConstraint) shareOf(zone string) float64 {
+	for _, z := range c.Zones {
 		if z.Zone == zone {
 			return clampShare(z.Share)
 		}
 	}
-	return clampShare(q.DefaultShare)
+	return clampShare(c.DefaultShare)
 }
 
 // pickAmong draws as pick does where most draws are void: of all servers at once, each by
 // the part that it keeps. One of many zones is missed too often by drawing again.
-func (b *Balancer) drawWeighted(r *request) (found *server) {
+func (b *Balancer) drawWeighted(r *request) (drawn *server) {
 	sum := 0.0
 	for _, s := range b.ready {
 		if !b.isAllowed(r, s) {
 			continue
 		}
-		p := b.drawShare(r, s)
-		if sum += p; b.rng.Float64()*sum < p {
-			found = s
+		share := b.drawShare(r, s)
+		if sum += share; b.rng.Float64()*sum < share {
+			drawn = s
 		}
 	}
-	return found
+	return drawn
 }
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -69,11 +69,11 @@
 		if !b.isAllowed(r, s) {
 			continue
 		}
-		if p := b.drawShare(r, s); p >= 1 || b.rng.Float64() < p {
+		if share := b.drawShare(r, s); share >= 1 || b.rng.Float64() < share {
 			return s
 		}
 	}
-	if r.Constraint != nil || b.hasZoneLimits && b.now < b.leaseEndsAt {
+	if r.Constraint != nil || b.limitsZones && b.now < b.leaseEndsAt {
 		return b.drawWeighted(r)
 	}
 	return nil
@@ -86,11 +86,11 @@
 	if !b.hasCapacity(s) {
 		return 0
 	}
-	p := b.faultShare(s) * b.constraintShare(r, s)
-	if w := b.capacityShare(s); w < 1 && b.now >= b.leaseEndsAt { // else its tokens are all that it gets
-		p *= min(w, b.coldDrawShare(w))
+	share := b.faultShare(s) * b.constraintShare(r, s)
+	if capacity := b.capacityShare(s); capacity < 1 && b.now >= b.leaseEndsAt { // else its tokens are all that it gets
+		share *= min(capacity, b.slowStartDrawShare(capacity))
 	}
-	return p
+	return share
 }
 
 // trust is the part of its draws that faults leave to s.
@@ -102,20 +102,20 @@
 func (b *Balancer) updateFewestFaults() {
 	b.fewestFaults = 0
 	for i, s := range b.ready {
-		if f := s.recentFaults.value(b.now); i == 0 || f < b.fewestFaults {
-			b.fewestFaults = f
+		if faults := s.recentFaults.value(b.now); i == 0 || faults < b.fewestFaults {
+			b.fewestFaults = faults
 		}
 	}
 }
 
 // Avoided counts the listed servers that are left out of all or of most draws.
-func (b *Balancer) AvoidedServers() (n int) {
+func (b *Balancer) AvoidedServers() (count int) {
 	for _, s := range b.servers {
 		if s.State != Gone && (s.readyIndex < 0 || b.faultShare(s)*b.constraintShare(&request{}, s) < 0.5) {
-			n++
+			count++
 		}
 	}
-	return n
+	return count
 }
 
 // level cuts a load into whole levels. The unit is half of the fleet's usual
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -23,8 +23,8 @@
 }
 
 func (b *Balancer) subscribeIfDue() {
-	if b.settings.SubscribeRequired && !b.subscribed && b.now >= b.nextSubscribeAt {
-		b.nextSubscribeAt = b.now + max(b.settings.SubscribeTimeout, time.Second) // should the answer never come
+	if b.settings.SubscribeRequired && !b.subscribed && b.now >= b.nextCallAt {
+		b.nextCallAt = b.now + max(b.settings.SubscribeTimeout, time.Second) // should the answer never come
 		b.emit(Subscribe{})
 	}
 }
@@ -35,27 +35,27 @@
 		// just begun. The back-off is for calls. However long they have failed, two fit into
 		// the time after which all that a list has to tell counts as told once it is back.
 		others := time.Duration(b.settings.Instances - 1)
-		pause := max(b.jitter(min(others*subscribeSpacing, reportDelay)/2, 1), b.nextSubscribeAt-b.now)
+		pause := max(b.jitter(min(others*subscribeSpacing, reportDelay)/2, 1), b.nextCallAt-b.now)
 		if !b.subscribed {
 			pause = b.jitter(min(minSubscribeBackoff<<min(2*b.subscribeFailures, 16), reportDelay), 0.25)
 			b.subscribeFailures++
 		}
-		b.subscribed, b.nextSubscribeAt = false, b.now+pause
+		b.subscribed, b.nextCallAt = false, b.now+pause
 		b.emit(SetTimer{Delay: pause + b.settings.Tick})
 		return
 	}
 	if e.Kind != ListCached && !b.subscribed {
-		b.subscribed, b.subscribeFailures, b.nextSubscribeAt = true, 0, b.now+reportDelay
+		b.subscribed, b.subscribeFailures, b.nextCallAt = true, 0, b.now+reportDelay
 	}
 	if e.Kind != ListDelta {
 		b.removeUnlisted(e.Entries)
 	}
 	b.listReceived = b.listReceived || e.Kind == ListFull || len(e.Entries) > 0
-	none := len(b.ready) == 0
+	hadNone := len(b.ready) == 0
 	for _, entry := range e.Entries {
 		b.updateServer(entry)
 	}
-	if none && len(b.ready) > 0 {
+	if hadNone && len(b.ready) > 0 {
 		b.backoffEndsAt = b.now
 		b.admitQueued()
 	}
@@ -78,42 +78,42 @@
 }
 
 // entry takes what the list says of one server.
-func (b *Balancer) updateServer(e ServerEntry) {
-	s := b.servers[e.ID]
+func (b *Balancer) updateServer(entry ServerEntry) {
+	s := b.servers[entry.ID]
 	if s == nil {
-		if e.State == Gone {
+		if entry.State == Gone {
 			return
 		}
-		s = &server{readyIndex: -1, reportedLoad: -1, ringHash: ringHash(e.ID)}
+		s = &server{readyIndex: -1, reportedLoad: -1, ringHash: ringHash(entry.ID)}
 		s.placedLoad.timeConstant, s.recentFaults.timeConstant, s.recentAttempts.timeConstant = reportDelay, faultDecay, b.rate[0].timeConstant
 		s.observedAttempts.timeConstant, s.observedFailures.timeConstant = observationDecay, observationDecay
-		b.servers[e.ID] = s
+		b.servers[entry.ID] = s
 	}
-	if e.StartedAt > s.StartedAt { // another process: what is known is the old one's
+	if entry.StartedAt > s.StartedAt { // another process: what is known is the old one's
 		s.reportedLoad, s.loadPerConnection, s.probeInFlight = -1, 0, false
 		s.placedLoad.sum, s.recentFaults.sum, s.recentAttempts.sum = 0, 0, 0
 		s.observedAttempts.sum, s.observedFailures.sum, s.tokensUsed, s.tokens = 0, 0, 0, 0
 	}
-	if e.State == Draining && s.State != Draining {
+	if entry.State == Draining && s.State != Draining {
 		for _, r := range s.connections {
 			b.scheduleMigration(r)
 		}
 	}
-	s.ServerEntry = e
+	s.ServerEntry = entry
 	switch {
-	case e.State == Ready && s.readyIndex < 0:
+	case entry.State == Ready && s.readyIndex < 0:
 		s.readyIndex = len(b.ready)
 		b.ready = append(b.ready, s)
 		i, _ := slices.BinarySearchFunc(b.ring, s.ringHash, compareRingHash)
 		b.ring = slices.Insert(b.ring, i, s)
-	case e.State != Ready && s.readyIndex >= 0:
+	case entry.State != Ready && s.readyIndex >= 0:
 		last := b.ready[len(b.ready)-1]
 		b.ready[s.readyIndex], last.readyIndex = last, s.readyIndex
 		b.ready = b.ready[:len(b.ready)-1]
 		b.ring = slices.DeleteFunc(b.ring, func(t *server) bool { return t == s })
 		s.readyIndex = -1
 	}
-	if e.State == Gone && len(s.connections) == 0 {
-		delete(b.servers, e.ID)
+	if entry.State == Gone && len(s.connections) == 0 {
+		delete(b.servers, entry.ID)
 	}
 }
--- a/balance/granted.go
+++ b/balance/granted.go
@@ -72,23 +72,23 @@
 // take part with in them, for its peers.
 func (b *Balancer) QuotaUsage(now time.Duration) QuotaUsage {
 	b.now = max(b.now, now)
-	sp := QuotaUsage{Period: b.quotaPeriod, FirstAttempts: b.rate[1].value(b.now), Retries: b.recentRetries.value(b.now)}
+	usage := QuotaUsage{Period: b.quotaPeriod, FirstAttempts: b.rate[1].value(b.now), Retries: b.recentRetries.value(b.now)}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		x := ServerUsage{ID: id, Zone: s.Zone, Load: s.reportedLoad, StartedAt: s.StartedAt, Used: s.tokensUsed,
+		server := ServerUsage{ID: id, Zone: s.Zone, Load: s.reportedLoad, StartedAt: s.StartedAt, Used: s.tokensUsed,
 			RecentAttempts: s.observedAttempts.value(b.now), RecentFailures: s.observedFailures.value(b.now)}
-		if w := b.capacityShare(s); w < 1 && s.readyIndex >= 0 {
-			x.WarmingUp = true
-			x.ColdBudget = b.coldPlacementRate(w) / float64(len(b.ready)) * s.recentAttempts.timeConstant.Seconds()
+		if capacity := b.capacityShare(s); capacity < 1 && s.readyIndex >= 0 {
+			server.WarmingUp = true
+			server.ColdBudget = b.slowStartPlacementRate(capacity) / float64(len(b.ready)) * s.recentAttempts.timeConstant.Seconds()
 		}
-		sp.Servers = append(sp.Servers, x)
+		usage.Servers = append(usage.Servers, server)
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.zoneLimits)) {
 		if z := b.zoneLimits[name]; z.tokens >= 0 {
-			sp.Zones = append(sp.Zones, ZoneUsage{Zone: name, Used: z.tokensUsed})
+			usage.Zones = append(usage.Zones, ZoneUsage{Zone: name, Used: z.tokensUsed})
 		}
 	}
-	return sp
+	return usage
 }
 
 // shunned is how many faults a verdict of the fleet counts as: a tenth of its draws is left
@@ -97,50 +97,50 @@
 
 // granted takes what the fleet lets this instance spend. Tokens of an earlier half are
 // void; of the same half only what is said of them is news.
-func (b *Balancer) applyQuotaLease(g QuotaLease) {
-	if g.Period < b.quotaPeriod || !(g.RetryBudget >= 0) {
+func (b *Balancer) applyQuotaLease(lease QuotaLease) {
+	if lease.Period < b.quotaPeriod || !(lease.RetryBudget >= 0) {
 		return
 	}
 	for _, s := range b.servers {
 		s.tokens = 0
-		if g.Period > b.quotaPeriod {
+		if lease.Period > b.quotaPeriod {
 			s.tokensUsed = 0
 		}
 	}
-	shut := b.applyZoneQuotas(g)
-	b.quotaPeriod, b.leaseEndsAt, b.tokensExpireAt, b.retryBudget = g.Period, b.now+g.LeaseDuration, g.TokensExpireAt, g.RetryBudget
-	for _, t := range g.Servers {
-		if s := b.servers[t.ID]; s != nil && s.StartedAt == t.StartedAt {
-			s.tokens = max(t.Tokens, 0)
+	hasClosedZone := b.applyZoneQuotas(lease)
+	b.quotaPeriod, b.leaseEndsAt, b.tokensExpireAt, b.retryBudget = lease.Period, b.now+lease.LeaseDuration, lease.TokensExpireAt, lease.RetryBudget
+	for _, quota := range lease.Servers {
+		if s := b.servers[quota.ID]; s != nil && s.StartedAt == quota.StartedAt {
+			s.tokens = max(quota.Tokens, 0)
 		}
 	}
-	for _, id := range g.EjectedServers {
+	for _, id := range lease.EjectedServers {
 		if s := b.servers[id]; s != nil {
 			s.recentFaults.add(b.now, max(0, ejectionFaults-s.recentFaults.value(b.now)))
 		}
 	}
-	if shut {
+	if hasClosedZone {
 		b.finishUnplaceable()
 	}
 }
 
 // grantZones takes what is said of zones, and tells whether one is shut that was not.
-func (b *Balancer) applyZoneQuotas(g QuotaLease) (shut bool) {
-	before, bound := b.zoneLimits, b.hasZoneLimits && b.now < b.leaseEndsAt
+func (b *Balancer) applyZoneQuotas(lease QuotaLease) (hasClosedZone bool) {
+	before, wasLimited := b.zoneLimits, b.limitsZones && b.now < b.leaseEndsAt
 	b.zoneLimits = make(map[string]*zoneLimit, len(before))
-	if g.Period == b.quotaPeriod {
+	if lease.Period == b.quotaPeriod {
 		for name, z := range before {
 			b.zoneLimitFor(name).tokensUsed = z.tokensUsed
 		}
 	}
-	for _, t := range g.Zones {
-		z := b.zoneLimitFor(t.Zone)
-		z.share, z.tokens = clampShare(t.Share), t.Tokens
-		was := before[t.Zone]
-		shut = shut || z.share == 0 && (!bound || was == nil || was.share > 0)
+	for _, quota := range lease.Zones {
+		z := b.zoneLimitFor(quota.Zone)
+		z.share, z.tokens = clampShare(quota.Share), quota.Tokens
+		was := before[quota.Zone]
+		hasClosedZone = hasClosedZone || z.share == 0 && (!wasLimited || was == nil || was.share > 0)
 	}
-	b.hasZoneLimits, b.shedFraction = len(g.Zones) > 0, clampShare(g.ShedFraction)
-	return shut
+	b.limitsZones, b.shedFraction = len(lease.Zones) > 0, clampShare(lease.ShedFraction)
+	return hasClosedZone
 }
 
 // zone returns what is kept of a zone, which nothing bounds unless a grant has said so.
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -15,8 +15,8 @@
 const maintenanceInterval = 250 * time.Millisecond
 
 // New returns a Balancer for the given settings, which it checks.
-func New(seed uint64, set Settings) (*Balancer, error) {
-	if err := set.Validate(); err != nil {
+func New(seed uint64, settings Settings) (*Balancer, error) {
+	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
@@ -27,17 +27,17 @@
 		requestsBySequence: map[uint64]*request{},
 		window:             maxWindow,
 	}
-	b.applySettings(set)
+	b.applySettings(settings)
 	return b, nil
 }
 
 // Handle takes one event and appends the actions that answer it.
-func (b *Balancer) Handle(now time.Duration, ev Event, actions []Action) []Action {
+func (b *Balancer) Handle(now time.Duration, event Event, actions []Action) []Action {
 	// A clock that steps back stands still here: what fades would grow beyond all
 	// bounds, and never be a number again.
 	b.now, b.actions = max(b.now, now), actions
 	b.start()
-	switch e := ev.(type) {
+	switch e := event.(type) {
 	case ListUpdate:
 		b.handleListUpdate(e)
 	case Request:
@@ -67,9 +67,9 @@
 		b.applySettings(e.Settings)
 		b.finishUnplaceable()
 	}
-	out := b.actions
+	answer := b.actions
 	b.actions = nil
-	return out
+	return answer
 }
 
 // begin runs once, before the first event.
@@ -80,7 +80,7 @@
 	b.started = true
 	b.startedAt = b.now
 	b.migrationBudget = math.Inf(1) // the first round may use the whole budget
-	b.migrationBudgetAt, b.rate[0].updatedAt, b.rate[1].updatedAt = b.now, b.now, b.now
+	b.migrationRefilledAt, b.rate[0].updatedAt, b.rate[1].updatedAt = b.now, b.now, b.now
 	b.startSubscription()
 	b.emit(SetTimer{Delay: maintenanceInterval})
 }
@@ -120,11 +120,11 @@
 func (b *Balancer) maintain() {
 	b.admitQueued()
 	b.subscribeIfDue()
-	if b.now < b.maintenanceAt {
+	if b.now < b.nextMaintenanceAt {
 		return
 	}
-	b.maintenanceAt = b.now + maintenanceInterval
+	b.nextMaintenanceAt = b.now + maintenanceInterval
 	b.emit(SetTimer{Delay: maintenanceInterval})
 	b.updateFewestFaults()
-	b.probeConnectedServers()
+	b.probeServersInUse()
 }
--- a/balance/leaver_test.go
+++ b/balance/leaver_test.go
@@ -15,7 +15,7 @@
 		loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 		placeRequest(d, "stays", loads)
 		d.handle(ConnectionEstablished{ID: "stays", Server: "a", Latency: ms})
-		before := d.balancer.settingUp
+		before := d.balancer.inSetup
 		for i := range 60 {
 			id := fmt.Sprint("r", i)
 			switch stage {
@@ -32,7 +32,7 @@
 			}
 			d.handle(ClientGone{ID: id})
 		}
-		if n := d.balancer.settingUp; n != before || len(d.balancer.queue) > 0 || len(d.balancer.requests) != 1 || d.balancer.openConnections != 1 {
+		if n := d.balancer.inSetup; n != before || len(d.balancer.queue) > 0 || len(d.balancer.requests) != 1 || d.balancer.openConnections != 1 {
 			t.Errorf("stage %d: %d are busy, %d wait, %d are known, %d stand", stage, n, len(d.balancer.queue), len(d.balancer.requests), d.balancer.openConnections)
 		}
 		for id, s := range d.balancer.servers {
--- a/balance/memory.go
+++ b/balance/memory.go
@@ -42,57 +42,57 @@
 // Recall tells what this process has learned, for another one of this instance.
 func (b *Balancer) LearnedState(now time.Duration) LearnedState {
 	b.now = max(b.now, now)
-	m := LearnedState{Age: b.now - b.startedAt, MeanLoad: b.meanLoad, LoadSamples: b.loadSamples, ProbeRTT: b.probeRTT, ProbeRTTDeviation: b.probeRTTDeviation,
+	state := LearnedState{Age: b.now - b.startedAt, MeanLoad: b.meanLoad, LoadSamples: b.loadSamples, ProbeRTT: b.probeRTT, ProbeRTTDeviation: b.probeRTTDeviation,
 		RecentPlacements: b.rate[0].value(b.now), BaselinePlacements: b.rate[1].value(b.now), MeanHint: b.meanHint, HintSamples: b.hintSamples}
 	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
 		s := b.servers[id]
-		m.Servers = append(m.Servers, LearnedServer{ID: id, StartedAt: s.StartedAt, Load: s.reportedLoad, LoadPerConnection: s.loadPerConnection,
+		state.Servers = append(state.Servers, LearnedServer{ID: id, StartedAt: s.StartedAt, Load: s.reportedLoad, LoadPerConnection: s.loadPerConnection,
 			PlacedLoad: s.placedLoad.value(b.now), Faults: s.recentFaults.value(b.now), RecentAttempts: s.recentAttempts.value(b.now)})
 	}
-	return m
+	return state
 }
 
 // learn adds what another process has learned to what this one has. Of a server that has
 // started anew nothing is known.
-func (b *Balancer) inheritState(m LearnedState) {
-	if !m.isPlausible() {
+func (b *Balancer) inheritState(state LearnedState) {
+	if !state.isPlausible() {
 		return
 	}
-	b.startedAt = min(b.startedAt, b.now-m.Age)
-	b.rate[0].add(b.now, m.RecentPlacements)
-	b.rate[1].add(b.now, m.BaselinePlacements)
-	b.meanLoad, b.loadSamples = combineMeans(b.meanLoad, b.loadSamples, m.MeanLoad, m.LoadSamples, maxLoadSamples)
-	b.meanHint, b.hintSamples = combineMeans(b.meanHint, b.hintSamples, m.MeanHint, m.HintSamples, 64)
+	b.startedAt = min(b.startedAt, b.now-state.Age)
+	b.rate[0].add(b.now, state.RecentPlacements)
+	b.rate[1].add(b.now, state.BaselinePlacements)
+	b.meanLoad, b.loadSamples = combineMeans(b.meanLoad, b.loadSamples, state.MeanLoad, state.LoadSamples, maxLoadSamples)
+	b.meanHint, b.hintSamples = combineMeans(b.meanHint, b.hintSamples, state.MeanHint, state.HintSamples, 64)
 	if b.probeRTT == 0 {
-		b.probeRTT, b.probeRTTDeviation = m.ProbeRTT, m.ProbeRTTDeviation
+		b.probeRTT, b.probeRTTDeviation = state.ProbeRTT, state.ProbeRTTDeviation
 	}
-	for _, k := range m.Servers {
-		s := b.servers[k.ID]
-		if s == nil || s.StartedAt != k.StartedAt {
+	for _, learned := range state.Servers {
+		s := b.servers[learned.ID]
+		if s == nil || s.StartedAt != learned.StartedAt {
 			continue
 		}
-		s.recentAttempts.add(b.now, k.RecentAttempts)
-		s.placedLoad.add(b.now, k.PlacedLoad)
-		s.recentFaults.add(b.now, max(0, k.Faults-s.recentFaults.value(b.now))) // both may mean the same
+		s.recentAttempts.add(b.now, learned.RecentAttempts)
+		s.placedLoad.add(b.now, learned.PlacedLoad)
+		s.recentFaults.add(b.now, max(0, learned.Faults-s.recentFaults.value(b.now))) // both may mean the same
 		if s.reportedLoad < 0 {
-			s.reportedLoad, s.loadPerConnection = k.Load, k.LoadPerConnection
+			s.reportedLoad, s.loadPerConnection = learned.Load, learned.LoadPerConnection
 		}
 	}
 }
 
 // sound tells whether m can be true: it comes from outside.
-func (m *LearnedState) isPlausible() bool {
-	figures := []float64{m.MeanLoad, m.LoadSamples, m.ProbeRTT, m.ProbeRTTDeviation, m.RecentPlacements, m.BaselinePlacements, m.MeanHint, m.HintSamples}
-	for _, k := range m.Servers {
-		figures = append(figures, k.Load+1, k.LoadPerConnection, k.PlacedLoad, k.Faults, k.RecentAttempts) // -1 is no load
+func (l *LearnedState) isPlausible() bool {
+	values := []float64{l.MeanLoad, l.LoadSamples, l.ProbeRTT, l.ProbeRTTDeviation, l.RecentPlacements, l.BaselinePlacements, l.MeanHint, l.HintSamples}
+	for _, k := range l.Servers {
+		values = append(values, k.Load+1, k.LoadPerConnection, k.PlacedLoad, k.Faults, k.RecentAttempts) // -1 is no load
 	}
-	return m.Age >= 0 && !slices.ContainsFunc(figures, func(x float64) bool { return !(x >= 0 && x <= maxPlausibleConnections) })
+	return l.Age >= 0 && !slices.ContainsFunc(values, func(x float64) bool { return !(x >= 0 && x <= maxPlausibleConnections) })
 }
 
 // mean is that of two means, each seen in so many, and in how many it is, up to a most.
-func combineMeans(x, n, y, m, most float64) (float64, float64) {
-	if m == 0 {
-		return x, n
+func combineMeans(mean, samples, otherMean, otherSamples, maxSamples float64) (float64, float64) {
+	if otherSamples == 0 {
+		return mean, samples
 	}
-	return (x*n + y*m) / (n + m), min(n+m, most)
+	return (mean*samples + otherMean*otherSamples) / (samples + otherSamples), min(samples+otherSamples, maxSamples)
 }
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -32,19 +32,19 @@
 	if b.backoff > b.settings.Tick { // after congestion placements keep a distance
 		b.pauseAdmission()
 	}
-	r.placedWeight = b.addedLoad(r, s)
-	s.placedLoad.add(b.now, r.placedWeight)
+	r.addedLoad = b.estimateAddedLoad(r, s)
+	s.placedLoad.add(b.now, r.addedLoad)
 	s.recentAttempts.add(b.now, 1)
 	s.observedAttempts.add(b.now, 1)
 	s.tokensUsed++
 	if b.now < b.leaseEndsAt {
 		b.zoneLimitFor(s.Zone).tokensUsed++
 	}
-	var within time.Duration // a repeat sent when its window is over would run twice
+	var timeout time.Duration // a repeat sent when its window is over would run twice
 	if r.mayHaveRunOn != nil && r.class.Idempotency == IdempotencyKeyed {
-		within = r.mayHaveRunAt + r.class.KeyWindow - b.now
+		timeout = r.mayHaveRunAt + r.class.KeyWindow - b.now
 	}
-	b.emit(Attempt{ID: r.ID, Server: s.ID, Timeout: within})
+	b.emit(Attempt{ID: r.ID, Server: s.ID, Timeout: timeout})
 }
 
 func (b *Balancer) handleEstablished(e ConnectionEstablished) {
@@ -67,7 +67,7 @@
 	if r == nil {
 		return
 	}
-	if out := r.phase == attempting && e.Attempt == r.attemptCount-1; !out && !e.Final && r.phase != established {
+	if isCurrent := r.phase == attempting && e.Attempt == r.attemptCount-1; !isCurrent && !e.Final && r.phase != established {
 		return // this attempt has been told to be over
 	}
 	if r.phase == attempting && r.server != nil {
@@ -99,17 +99,17 @@
 // a failed connection or a refusal as full drawing starts anew without that
 // server, and so it does after an error where a repeat does no harm; after a
 // reset or time-out nothing is sent again.
-func (b *Balancer) retryOrFinish(r *request, o Outcome) {
-	s, again := r.releasePlacedLoad(b.now), true
-	switch o {
+func (b *Balancer) retryOrFinish(r *request, outcome Outcome) {
+	s, mayRetry := r.releasePlacedLoad(b.now), true
+	switch outcome {
 	case AtCapacity, ConnectFailed, NotSent:
 	default:
 		if r.mayHaveRunOn == nil { // the first that may have run, and the earliest that it can have
 			r.mayHaveRunOn, r.mayHaveRunAt = s, r.startedAt
 		}
-		again = o == Errored && r.class.Idempotency != NonIdempotent
+		mayRetry = outcome == Errored && r.class.Idempotency != NonIdempotent
 	}
-	if !again || b.now < b.leaseEndsAt && b.retryBudget < 1 { // the fleet's budget of them is spent
+	if !mayRetry || b.now < b.leaseEndsAt && b.retryBudget < 1 { // the fleet's budget of them is spent
 		b.finish(r)
 		return
 	}
@@ -146,14 +146,14 @@
 // finish answers r for good: refused where trying again is surely harmless,
 // else failed.
 func (b *Balancer) finish(r *request) {
-	harmless := r.mayHaveRunOn == nil || r.class.Idempotency == Idempotent ||
+	isHarmless := r.mayHaveRunOn == nil || r.class.Idempotency == Idempotent ||
 		r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope == ScopeAll
-	if harmless {
-		var pause time.Duration
+	if isHarmless {
+		var retryAfter time.Duration
 		if b.settings.Limits.SendRetryAfter {
-			pause = b.jitter(min(b.settings.Limits.MaxRetryAfter/2, r.class.Deadline/3), 0.5)
+			retryAfter = b.jitter(min(b.settings.Limits.MaxRetryAfter/2, r.class.Deadline/3), 0.5)
 		}
-		b.emit(Reject{ID: r.ID, RetryAfter: pause})
+		b.emit(Reject{ID: r.ID, RetryAfter: retryAfter})
 	} else {
 		b.emit(Fail{ID: r.ID})
 	}
--- a/balance/probe.go
+++ b/balance/probe.go
@@ -49,12 +49,12 @@
 // all draws fit into half of its aim. A server that needs longer is skipped:
 // it is dead, cut off or busy.
 func (b *Balancer) probeTimeout(r *request) time.Duration {
-	most := b.queueTimeout(r) / (2 * trials)
+	longest := b.queueTimeout(r) / (2 * trials)
 	if b.probeRTT == 0 {
-		return most
+		return longest
 	}
-	few := time.Duration((2*b.probeRTT + 4*b.probeRTTDeviation) * float64(time.Second))
-	return min(max(few, 2*b.settings.Tick), most)
+	roundTrips := time.Duration((2*b.probeRTT + 4*b.probeRTTDeviation) * float64(time.Second))
+	return min(max(roundTrips, 2*b.settings.Tick), longest)
 }
 
 // probed takes a probe's answer: news of the server, and for all who wait.
@@ -93,10 +93,10 @@
 }
 
 // report takes a server's load report.
-func (b *Balancer) applyReport(s *server, l LoadReport) {
-	load := l.Utilization
+func (b *Balancer) applyReport(s *server, report LoadReport) {
+	load := report.Utilization
 	if load < 0 {
-		load = l.CPUUtilization
+		load = report.CPUUtilization
 	}
 	if load < 0 {
 		return
@@ -105,14 +105,14 @@
 		s.reportedLoad, s.loadPerConnection = -1, 0
 		return
 	}
-	if b.serviceTimeLimit > 0 && l.LatencyMillis/1000 > b.serviceTimeLimit.Seconds() {
+	if b.serviceTimeLimit > 0 && report.LatencyMillis/1000 > b.serviceTimeLimit.Seconds() {
 		load = max(load, 1) // it serves nobody in time, whatever its cores could do
 	}
 	s.reportedLoad = load
 	b.loadSamples = min(b.loadSamples+1, maxLoadSamples)
 	b.meanLoad += (min(load, maxLoadSample) - b.meanLoad) / b.loadSamples
-	if l.Inflight >= 0 && l.Inflight <= maxPlausibleConnections {
-		s.loadPerConnection = load / max(l.Inflight, minReportedConnections)
+	if report.Inflight >= 0 && report.Inflight <= maxPlausibleConnections {
+		s.loadPerConnection = load / max(report.Inflight, minReportedConnections)
 	}
 }
 
@@ -135,13 +135,13 @@
 // load of one connection there by its last report, or else the usual load over
 // the connections that a server usually holds. The second is far off for an
 // instance that has just started and holds hardly any.
-func (b *Balancer) addedLoad(r *request, s *server) float64 {
-	w := s.loadPerConnection
-	if w == 0 {
+func (b *Balancer) estimateAddedLoad(r *request, s *server) float64 {
+	load := s.loadPerConnection
+	if load == 0 {
 		if b.loadSamples == 0 || b.openConnections == 0 {
 			return 0
 		}
-		w = b.meanLoad / (float64(b.openConnections*b.settings.Instances) / float64(max(len(b.ready), 1)))
+		load = b.meanLoad / (float64(b.openConnections*b.settings.Instances) / float64(max(len(b.ready), 1)))
 	}
-	return min(w*r.loadFactor, 0.25)
+	return min(load*r.loadFactor, 0.25)
 }
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -58,7 +58,7 @@
 					t.Error("passed as low")
 				}
 			}
-			if w := d.balancer.addedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers["a"]); !(w > 0.001) || w > 0.25 {
+			if w := d.balancer.estimateAddedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers["a"]); !(w > 0.001) || w > 0.25 {
 				t.Errorf("a connection weighs %v there", w)
 			}
 			tell("a", loadReport(0.5, 20))
@@ -78,7 +78,7 @@
 			hinted := func(id string, hint float64) float64 {
 				d.handle(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
 				d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
-				w := d.balancer.addedLoad(d.balancer.requests[id], d.balancer.servers["a"])
+				w := d.balancer.estimateAddedLoad(d.balancer.requests[id], d.balancer.servers["a"])
 				d.handle(ClientGone{ID: id})
 				return w
 			}
@@ -102,7 +102,7 @@
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
 		d.handle(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-		if w := d.balancer.addedLoad(d.balancer.requests[fmt.Sprint("r", i)], d.balancer.servers["a"]); w < 0.0006 {
+		if w := d.balancer.estimateAddedLoad(d.balancer.requests[fmt.Sprint("r", i)], d.balancer.servers["a"]); w < 0.0006 {
 			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
 		}
 	}
@@ -119,7 +119,7 @@
 	d.answerProbe("a", 0.5)
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.5, 100)})
 	d.handle(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
-	if w := d.balancer.addedLoad(d.balancer.requests["r"], d.balancer.servers["a"]); w > 0.01 {
+	if w := d.balancer.estimateAddedLoad(d.balancer.requests["r"], d.balancer.servers["a"]); w > 0.01 {
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
 }
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -30,7 +30,7 @@
 )
 
 // look probes the servers that hold connections and that draws have not met of late.
-func (b *Balancer) probeConnectedServers() {
+func (b *Balancer) probeServersInUse() {
 	for _, s := range b.ready {
 		if len(s.connections) > 0 && b.now >= s.probeDueAt && b.canProbe() {
 			b.sendProbe(s)
@@ -42,17 +42,17 @@
 // above the fleet, by the share that would bring it back. Every instance does
 // the same by itself, so together they move about what is needed.
 func (b *Balancer) rebalance(s *server) {
-	over := max(rebalanceThreshold, min(unevenRatio*b.meanLoad, overloadThreshold))
-	if len(s.connections) == 0 || b.now < s.nextRebalanceAt || s.reportedLoad < over {
+	threshold := max(rebalanceThreshold, min(unevenRatio*b.meanLoad, overloadThreshold))
+	if len(s.connections) == 0 || b.now < s.nextRebalanceAt || s.reportedLoad < threshold {
 		return
 	}
-	to := max(rebalanceTarget, min(b.meanLoad, rebalanceThreshold))
+	target := max(rebalanceTarget, min(b.meanLoad, rebalanceThreshold))
 	open := float64(b.openConnections)
-	b.migrationBudget = min(b.migrationBudget+migrationsPerSecond*open*(b.now-b.migrationBudgetAt).Seconds(), max(2, open/5))
-	b.migrationBudgetAt = b.now
-	part := 1 - to/s.reportedLoad
+	b.migrationBudget = min(b.migrationBudget+migrationsPerSecond*open*(b.now-b.migrationRefilledAt).Seconds(), max(2, open/5))
+	b.migrationRefilledAt = b.now
+	share := 1 - target/s.reportedLoad
 	for _, r := range s.connections {
-		if b.migrationBudget >= 1 && b.rng.Float64() < part {
+		if b.migrationBudget >= 1 && b.rng.Float64() < share {
 			b.migrationBudget--
 			b.migrate(r)
 		}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -68,8 +68,8 @@
 			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waitingRequests), len(s.connections), s.State)
 		}
 	}
-	if len(b.requests) != 0 || len(b.requestsBySequence) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.settingUp != 0 || b.openConnections != 0 {
+	if len(b.requests) != 0 || len(b.requestsBySequence) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.inSetup != 0 || b.openConnections != 0 {
 		t.Errorf("left: %d requests, %d numbers, %d groups, %d busy, %d open",
-			len(b.requests), len(b.requestsBySequence), len(b.groups), b.settingUp, b.openConnections)
+			len(b.requests), len(b.requestsBySequence), len(b.groups), b.inSetup, b.openConnections)
 	}
 }
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -105,20 +105,20 @@
 }
 
 // tune takes settings. What is under way keeps its class, which is the old settings'.
-func (b *Balancer) applySettings(set Settings) {
-	set.Instances, set.Processes = max(set.Instances, 1), max(set.Processes, 1)
-	set.Limits.MaxAttempts = max(set.Limits.MaxAttempts, 1)
-	b.settings, b.classes, b.serviceTimeLimit = set, map[string]*Class{}, 0
-	b.rate[0].timeConstant, b.rate[1].timeConstant = max(set.Rules.OverloadDuration, reportDelay), 10*max(set.Rules.OverloadDuration, reportDelay)
+func (b *Balancer) applySettings(settings Settings) {
+	settings.Instances, settings.Processes = max(settings.Instances, 1), max(settings.Processes, 1)
+	settings.Limits.MaxAttempts = max(settings.Limits.MaxAttempts, 1)
+	b.settings, b.classes, b.serviceTimeLimit = settings, map[string]*Class{}, 0
+	b.rate[0].timeConstant, b.rate[1].timeConstant = max(settings.Rules.OverloadDuration, reportDelay), 10*max(settings.Rules.OverloadDuration, reportDelay)
 	b.recentRetries.timeConstant = b.rate[1].timeConstant
 	for _, s := range b.servers {
 		s.recentAttempts.timeConstant = b.rate[0].timeConstant
 	}
-	for i := range set.Classes {
-		c := &set.Classes[i]
-		b.classes[c.Name] = c
-		if b.serviceTimeLimit == 0 || c.MessageLatencyObjective > 0 && c.MessageLatencyObjective < b.serviceTimeLimit {
-			b.serviceTimeLimit = c.MessageLatencyObjective
+	for i := range settings.Classes {
+		class := &settings.Classes[i]
+		b.classes[class.Name] = class
+		if b.serviceTimeLimit == 0 || class.MessageLatencyObjective > 0 && class.MessageLatencyObjective < b.serviceTimeLimit {
+			b.serviceTimeLimit = class.MessageLatencyObjective
 		}
 	}
 }
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -109,7 +109,7 @@
 	}
 	d.updateList(ListDelta, ServerEntry{ID: "a", StartedAt: d.now})
 	s := d.balancer.servers["a"]
-	if p, cold := d.balancer.drawShare(&request{}, s), d.balancer.coldDrawShare(d.balancer.capacityShare(s)); p < min(d.balancer.capacityShare(s), cold)*0.9 || d.balancer.estimatedLoad(s) >= 0 {
+	if p, cold := d.balancer.drawShare(&request{}, s), d.balancer.slowStartDrawShare(d.balancer.capacityShare(s)); p < min(d.balancer.capacityShare(s), cold)*0.9 || d.balancer.estimatedLoad(s) >= 0 {
 		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.balancer.estimatedLoad(s))
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -23,33 +23,33 @@
 	requestsBySequence map[uint64]*request // timers name requests by number
 	lastSequence       uint64
 	openConnections    int // connections that stand
-	maintenanceAt      time.Duration
+	nextMaintenanceAt  time.Duration
 
 	queue         []*request // wait for a turn to draw
-	settingUp     int        // draw or are being set up
+	inSetup       int        // draw or are being set up
 	window        float64    // as many may at once
 	failureRate   float64    // share of attempts that fail of late
 	backoff       time.Duration
 	backoffEndsAt time.Duration
 
-	serviceTimeLimit  time.Duration      // the shortest message aim: a service time beyond it helps nobody
-	meanLoad          float64            // mean load seen of late
-	loadSamples       float64            // how many answers it is taken from
-	probeRTT          float64            // usual time of a probe, seconds
-	probeRTTDeviation float64            // and its mean deviation
-	fewestFaults      float64            // of the ready server that had the fewest of late
-	rate              [2]decayingCounter // placements a second: of late, and usual
-	meanHint          float64            // mean hint of connections
-	hintSamples       float64            // how many it is taken from
-	migrationBudget   float64            // moves that may be made now
-	migrationBudgetAt time.Duration
+	serviceTimeLimit    time.Duration      // the shortest message aim: a service time beyond it helps nobody
+	meanLoad            float64            // mean load seen of late
+	loadSamples         float64            // how many answers it is taken from
+	probeRTT            float64            // usual time of a probe, seconds
+	probeRTTDeviation   float64            // and its mean deviation
+	fewestFaults        float64            // of the ready server that had the fewest of late
+	rate                [2]decayingCounter // placements a second: of late, and usual
+	meanHint            float64            // mean hint of connections
+	hintSamples         float64            // how many it is taken from
+	migrationBudget     float64            // moves that may be made now
+	migrationRefilledAt time.Duration
 
 	leaseEndsAt    time.Duration // the fleet's budgets bind until then
 	tokensExpireAt time.Duration // its tokens are good until then
 	quotaPeriod    int64         // what they are for
 	retryBudget    float64       // that the fleet has granted
 	shedFraction   float64       // share of first arrivals that it can't carry
-	hasZoneLimits  bool          // it bounds zones
+	limitsZones    bool          // it bounds zones
 	zoneLimits     map[string]*zoneLimit
 	recentRetries  decayingCounter // retries of late
 
@@ -59,7 +59,7 @@
 	listReceived      bool // a list has come
 	subscribed        bool
 	subscribeFailures int
-	nextSubscribeAt   time.Duration
+	nextCallAt        time.Duration
 }
 
 // server is what this instance knows of a server.
@@ -128,7 +128,7 @@
 	server          *server // where its attempt or connection is
 	connectionIndex int     // index in at.conns while opened
 	loadFactor      float64 // its hint over the mean of hints, or 1
-	placedWeight    float64 // what it counted as placed when it was last sent
+	addedLoad       float64 // what it counted as placed when it was last sent
 	mayHaveRunOn    *server // where an attempt may have run
 	mayHaveRunAt    time.Duration
 	migrating       bool
--- a/balance/track.go
+++ b/balance/track.go
@@ -111,14 +111,14 @@
 }
 
 // enter changes r's phase and counts those that draw or are being set up.
-func (b *Balancer) setPhase(r *request, p requestPhase) {
-	was, is := r.phase == drawing || r.phase == attempting, p == drawing || p == attempting
-	if was && !is {
-		b.settingUp--
-	} else if is && !was {
-		b.settingUp++
+func (b *Balancer) setPhase(r *request, phase requestPhase) {
+	wasInSetup, isInSetup := r.phase == drawing || r.phase == attempting, phase == drawing || phase == attempting
+	if wasInSetup && !isInSetup {
+		b.inSetup--
+	} else if isInSetup && !wasInSetup {
+		b.inSetup++
 	}
-	r.phase = p
+	r.phase = phase
 }
 
 func (b *Balancer) emit(a Action) { b.actions = append(b.actions, a) }
@@ -133,10 +133,10 @@
 }
 
 // note logs a line for those on call, at most one in each noteEvery.
-func (b *Balancer) logThrottled(format string, args ...any) {
+func (b *Balancer) logThrottled(message string, args ...any) {
 	if b.now >= b.nextLogAt {
 		b.nextLogAt = b.now + logInterval
-		b.emit(Log{Text: fmt.Sprintf(format, args...)})
+		b.emit(Log{Text: fmt.Sprintf(message, args...)})
 	}
 }
 
