--- a/balance/admission.go
+++ b/balance/admission.go
@@ -1,7 +1,7 @@
 package balance
 
-// Who draws next, and who is told at once that it won't be served? Everybody at once, the
-// newest first when the fleet is congested.
+// Which request draws next, and which is answered at once because it can't be served? Every request
+// draws as it comes; when the fleet is congested, the newest go first.
 
 import (
 	"cmp"
@@ -10,97 +10,97 @@
 )
 
 const (
-	// firstPause and longestPause bound the pause that answers congestion: from
-	// a few round trips to what a waiting client bears. widest is a window that
-	// holds nothing up.
+	// minBackoff and maxBackoff bound the pause that answers congestion: from a few round trips to what
+	// a waiting client bears.
 	minBackoff, maxBackoff = 50 * time.Millisecond, 2 * time.Second
-	maxWindow              = 1000.0
+	// maxWindow is a window that holds nothing up.
+	maxWindow = 1000.0
 )
 
 func (b *Balancer) handleRequest(q Request) {
 	r := b.trackRequest(q)
-	// The answer must be out before the deadline; two ticks cover rounding
-	// and a batch that comes late.
+	// The answer must be out before the deadline; two ticks cover rounding and a batch that comes late.
 	r.answerDeadline = q.Deadline - 2*b.settings.Tick
-	if b.now < b.leaseEndsAt && b.shedFraction > 0 && !q.Reconnecting && !q.ClientRetry && b.rng.Float64() < b.shedFraction {
+	isFirstArrival := !q.Reconnecting && !q.ClientRetry
+	if isFirstArrival && b.hasLease() && b.quota.shedFraction > 0 && b.rng.Float64() < b.quota.shedFraction {
 		b.finish(r) // the fleet can't carry it
 		return
 	}
 	b.enqueue(r)
 }
 
-// adopt takes over a connection that already runs.
+// adoptConnection takes over a connection that already runs.
 func (b *Balancer) adoptConnection(e OpenConnection) {
 	r := b.trackRequest(e.Request)
 	r.attemptCount = 1
-	if s := b.servers[e.Server]; s != nil {
+	r.phase = established
+	if s := b.servers.byID[e.Server]; s != nil {
 		b.attachConnection(r, s)
 		s.probeDueAt = b.now + takeoverProbeDelay
-	} else {
-		r.phase = established
 	}
 }
 
-// enqueue lets r wait for its turn to draw, which is at once unless there is
-// congestion.
+// enqueue lets r wait for admission, which comes at once unless there is congestion.
 func (b *Balancer) enqueue(r *request) {
 	b.setPhase(r, queued)
-	r.drawCount, r.drawnServers, r.bestServer = 0, r.drawnServers[:0], nil
-	r.tryingAffinity, r.affinityServers = false, nil
+	r.round.reset()
 	if b.now >= r.answerDeadline || b.isUnplaceable(r) {
 		b.finish(r)
 		return
 	}
-	b.queue = append(b.queue, r)
+	b.admission.queue = append(b.admission.queue, r)
 	b.admitQueued()
 	if r.phase == queued {
 		b.setRequestTimer(r, min(r.decisionDeadline(), b.now+b.queueTimeout(r)))
 	}
 }
 
-// turnWithin is how long r waits for its turn: its aim, or else its deadline. The
-// newest go first, so that whose turn has not come by then is passed over for good: it
-// is told so at once, and when to come again, instead of when its client is about to
-// give up anyway.
+// queueTimeout is how long r waits for admission: its latency objective, or else its deadline. The
+// newest go first, so a request that was not admitted by then never would be: it is answered at once,
+// with a Retry-After, and not when its client is about to give up.
 func (b *Balancer) queueTimeout(r *request) time.Duration {
 	return cmp.Or(r.class.LatencyObjective, r.class.Deadline)
 }
 
-// hopeless tells whether r has no attempt left, or no ready server may be sent it. Then
-// it is answered at once: to wait for another server would only keep its client from
-// asking again. Before the first list all may still come, but to whose bound allows nothing.
+// isUnplaceable reports whether r has no attempt left, or may be sent to no ready server. Then it is
+// answered at once: to wait for another server would only keep its client from asking again. Before the
+// first list servers may still come, unless r's constraint allows none.
 func (b *Balancer) isUnplaceable(r *request) bool {
-	return r.attemptCount >= b.settings.Limits.MaxAttempts ||
-		(b.listReceived || r.Constraint != nil && len(r.Constraint.Zones) == 0 && r.Constraint.DefaultShare == 0) &&
-			!slices.ContainsFunc(b.ready, func(s *server) bool { return b.isAllowed(r, s) })
+	if r.attemptCount >= b.settings.Limits.MaxAttempts {
+		return true
+	}
+	allowsNoZone := r.Constraint != nil && len(r.Constraint.Zones) == 0 && r.Constraint.DefaultShare == 0
+	return (b.subscription.listReceived || allowsNoZone) &&
+		!slices.ContainsFunc(b.servers.ready, func(s *server) bool { return b.isAllowed(r, s) })
 }
 
-// giveUpHopeless answers those whom the last server that they could go to has left, or
-// who are allowed fewer attempts than they have made.
+// finishUnplaceable answers the requests whose last possible server has left, or that have made more
+// attempts than are allowed by now.
 func (b *Balancer) finishUnplaceable() {
 	var unplaceable []*request
-	for _, r := range b.requestsBySequence {
-		if (r.phase == queued || r.phase == drawing) && b.isUnplaceable(r) {
+	for _, r := range b.requests.bySequence {
+		if r.awaitsPlacement() && b.isUnplaceable(r) {
 			unplaceable = append(unplaceable, r)
 		}
 	}
 	// Not in the map's order.
 	slices.SortFunc(unplaceable, func(r, o *request) int { return cmp.Compare(r.sequence, o.sequence) })
 	for _, r := range unplaceable {
-		if r.phase == queued || r.phase == drawing { // another's end may have brought its own
+		if r.awaitsPlacement() { // the end of another may have brought its own
 			b.finish(r)
 		}
 	}
 }
 
-// pump gives turns while the window has room, to the newest first: in its
-// turn it still has the time to be set up. In order of arrival every request
-// would get its turn when its time is almost up, and all would be in vain.
+// admitQueued lets requests draw while the window has capacity, the newest first: it still has the time
+// to be set up. In order of arrival every request would be admitted when its time is almost up, and all
+// set-ups would be in vain.
 func (b *Balancer) admitQueued() {
-	for len(b.queue) > 0 && b.now >= b.backoffEndsAt && float64(b.inSetup) < b.window {
-		last := len(b.queue) - 1
-		r := b.queue[last]
-		b.queue = b.queue[:last]
+	a := &b.admission
+	for len(a.queue) > 0 && b.now >= a.backoffEndsAt && float64(a.inSetup) < a.window {
+		last := len(a.queue) - 1
+		r := a.queue[last]
+		a.queue = a.queue[:last]
 		if b.now >= r.answerDeadline {
 			b.finish(r)
 			continue
@@ -110,34 +110,34 @@
 	}
 }
 
-// congested answers a sign that it is not one server that is in trouble: all
-// of a round's draws were full, or most attempts fail wherever they go. Then
-// no server is to blame and more attempts only add to it, so fewer are made
-// at a time, after a pause that doubles while the signs go on.
+// reduceWindow answers a sign that the fleet is congested rather than one server faulty: all of a
+// round's draws were full, or most attempts fail wherever they go. Then more attempts only add to it,
+// so fewer are made at a time, after a pause that doubles while the signs go on.
 func (b *Balancer) reduceWindow() {
-	if b.now < b.backoffEndsAt {
+	a := &b.admission
+	if b.now < a.backoffEndsAt {
 		return
 	}
-	b.window = max(1, float64(b.inSetup)/2)
-	b.backoff = min(max(2*b.backoff, minBackoff), maxBackoff)
-	if b.backoff >= maxBackoff {
-		b.logThrottled("congestion: set-ups are held back, usual load %.2f, %.0f%% of attempts fail",
-			b.meanLoad, 100*b.failureRate)
+	a.window = max(1, float64(a.inSetup)/2)
+	a.backoff = min(max(2*a.backoff, minBackoff), maxBackoff)
+	if a.backoff >= maxBackoff {
+		b.logCongestion()
 	}
 	b.pauseAdmission()
 }
 
-// keepDistance gives no turns for the time of the pause.
+// pauseAdmission admits no request for the time of the backoff.
 func (b *Balancer) pauseAdmission() {
-	pause := b.jitter(b.backoff, 0.5)
-	b.backoffEndsAt = b.now + pause
+	pause := b.jitter(b.admission.backoff, 0.5)
+	b.admission.backoffEndsAt = b.now + pause
 	b.emit(SetTimer{Delay: pause + b.settings.Tick})
 }
 
-// succeeded opens the window again, step by step.
+// growWindow widens the window again, step by step, with each connection that is established.
 func (b *Balancer) growWindow() {
-	b.failureRate -= b.failureRate / 8
-	b.backoff -= b.backoff / 8
-	b.window = min(b.window+1, maxWindow)
+	a := &b.admission
+	a.failureRate -= a.failureRate / 8
+	a.backoff -= a.backoff / 8
+	a.window = min(a.window+1, maxWindow)
 	b.admitQueued()
 }
--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -64,7 +64,7 @@
 func TestQueuedRequestIsAnsweredWithinLatencyObjective(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
 	d.balancer.reduceWindow()
-	d.balancer.backoffEndsAt = d.now + 10*time.Second
+	d.balancer.admission.backoffEndsAt = d.now + 10*time.Second
 	asked := d.now
 	d.sendRequest("r")
 	for d.now < asked+2*time.Second {
@@ -103,7 +103,7 @@
 // almost up, and all set-ups were in vain.
 func TestQueueIsLastInFirstOut(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
-	d.balancer.window = 1
+	d.balancer.admission.window = 1
 	d.balancer.reduceWindow()
 	d.sendRequest("old")
 	d.now += 10 * ms
@@ -127,7 +127,7 @@
 		d.sendRequest(fmt.Sprint("r", i))
 	}
 	d.handle(ClientGone{ID: "r0"})
-	if len(d.balancer.queue) != 2 {
-		t.Errorf("%d in the queue, want the 2 that wait", len(d.balancer.queue))
+	if len(d.balancer.admission.queue) != 2 {
+		t.Errorf("%d in the queue, want the 2 that wait", len(d.balancer.admission.queue))
 	}
 }
--- a/balance/affinity_test.go
+++ b/balance/affinity_test.go
@@ -98,7 +98,7 @@
 	d.leaseQuota(QuotaLease{Zones: []ZoneQuota{{"3", 0, -1}}})
 	got := d.placeMany(Request{Group: "g", Constraint: onlyZones("3", "7")}, 50)
 	for at := range got {
-		if s := d.balancer.servers[at]; s == nil || s.Zone != "7" {
+		if s := d.balancer.servers.byID[at]; s == nil || s.Zone != "7" {
 			t.Errorf("%q took members", at)
 		}
 	}
--- a/balance/cancellation_test.go
+++ b/balance/cancellation_test.go
@@ -15,27 +15,27 @@
 		loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
 		placeRequest(d, "stays", loads)
 		d.handle(ConnectionEstablished{ID: "stays", Server: "a", Latency: ms})
-		before := d.balancer.inSetup
+		before := d.balancer.admission.inSetup
 		for i := range 60 {
 			id := fmt.Sprint("r", i)
 			switch stage {
 			case queued:
-				d.balancer.backoffEndsAt = d.now + time.Minute
+				d.balancer.admission.backoffEndsAt = d.now + time.Minute
 				d.sendRequest(id)
 			case drawing:
 				d.sendRequest(id)
 			default:
 				placeRequest(d, id, loads)
 			}
-			if r := d.balancer.requests[id]; r.phase != stage {
+			if r := d.balancer.requests.byID[id]; r.phase != stage {
 				t.Fatalf("stage %d: %s is at %d", stage, id, r.phase)
 			}
 			d.handle(ClientGone{ID: id})
 		}
-		if n := d.balancer.inSetup; n != before || len(d.balancer.queue) > 0 || len(d.balancer.requests) != 1 || d.balancer.openConnections != 1 {
-			t.Errorf("stage %d: %d are busy, %d wait, %d are known, %d stand", stage, n, len(d.balancer.queue), len(d.balancer.requests), d.balancer.openConnections)
+		if n := d.balancer.admission.inSetup; n != before || len(d.balancer.admission.queue) > 0 || len(d.balancer.requests.byID) != 1 || d.balancer.requests.openConnections != 1 {
+			t.Errorf("stage %d: %d are busy, %d wait, %d are known, %d stand", stage, n, len(d.balancer.admission.queue), len(d.balancer.requests.byID), d.balancer.requests.openConnections)
 		}
-		for id, s := range d.balancer.servers {
+		for id, s := range d.balancer.servers.byID {
 			if left := s.placedLoad.value(d.now); left > s.loadPerConnection+1e-9 {
 				t.Errorf("stage %d: leavers weigh %.3f at %s", stage, left, id)
 			}
--- a/balance/constraints.go
+++ b/balance/constraints.go
@@ -1,18 +1,10 @@
 package balance
 
-// Where may a request be drawn? Anywhere, but for what the fleet's word on zones takes
-// away, and then the request's own bound. Neither gives back what repeats, drains or the
-// limits of cold servers have taken.
+// In which zones may a request be drawn? In all, except for what the quota lease takes away, and then
+// the request's own constraint. Neither gives back what idempotency, drains or the limits of cold
+// servers have taken.
 
-// zoneOf is the fleet's word on s's zone; nil where it has none.
-func (b *Balancer) zoneLimitOf(s *server) *zoneLimit {
-	if !b.limitsZones || b.now >= b.leaseEndsAt {
-		return nil
-	}
-	return b.zoneLimits[s.Zone]
-}
-
-// bound is the part of its draws that s keeps by its zone, and of those by r's bound.
+// constraintShare is the part of its draws that s keeps by its zone and by r's constraint.
 func (b *Balancer) constraintShare(r *request, s *server) float64 {
 	share := 1.0
 	if z := b.zoneLimitOf(s); z != nil {
@@ -24,13 +16,13 @@
 	return share
 }
 
-// zoneTakes tells whether s's zone has a token left, if it has any.
+// zoneHasTokens reports whether the zone of s has a token left, if tokens limit it.
 func (b *Balancer) zoneHasTokens(s *server) bool {
 	z := b.zoneLimitOf(s)
-	return z == nil || z.tokens < 0 || z.tokensUsed < z.tokens && b.now < b.tokensExpireAt
+	return z == nil || z.tokens < 0 || z.tokensUsed < z.tokens && b.now < b.quota.tokensExpireAt
 }
 
-// part is the part of a zone's draws that q keeps.
+// shareOf is the part of a zone's draws that the constraint keeps.
 func (c *ZoneConstraint) shareOf(zone string) float64 {
 	for _, z := range c.Zones {
 		if z.Zone == zone {
@@ -40,16 +32,17 @@
 	return clampShare(c.DefaultShare)
 }
 
-// pickAmong draws as pick does where most draws are void: of all servers at once, each by
-// the part that it keeps. One of many zones is missed too often by drawing again.
+// drawWeighted draws where most uniform draws are void: from all servers at once, each by the share
+// that it keeps. One of many zones is missed too often by repeated draws.
 func (b *Balancer) drawWeighted(r *request) (drawn *server) {
 	sum := 0.0
-	for _, s := range b.ready {
+	for _, s := range b.servers.ready {
 		if !b.isAllowed(r, s) {
 			continue
 		}
 		share := b.drawShare(r, s)
-		if sum += share; b.rng.Float64()*sum < share {
+		sum += share
+		if b.rng.Float64()*sum < share {
 			drawn = s
 		}
 	}
--- a/balance/constraints_test.go
+++ b/balance/constraints_test.go
@@ -224,8 +224,8 @@
 	for len(actionsOf[Probe](actions)) > 0 {
 		actions = d.answerProbe(actionsOf[Probe](actions)[0].Server, 1.2)
 	}
-	if len(actionsOf[Reject](actions)) != 1 || d.balancer.backoffEndsAt > d.now || d.balancer.window < maxWindow {
-		t.Errorf("%v, paused to %v and a window of %v", actions, d.balancer.backoffEndsAt, d.balancer.window)
+	if len(actionsOf[Reject](actions)) != 1 || d.balancer.admission.backoffEndsAt > d.now || d.balancer.admission.window < maxWindow {
+		t.Errorf("%v, paused to %v and a window of %v", actions, d.balancer.admission.backoffEndsAt, d.balancer.admission.window)
 	}
 }
 
--- a/balance/draw_test.go
+++ b/balance/draw_test.go
@@ -34,7 +34,7 @@
 // with none, and that counted as congestion: placements paused although all could serve.
 func TestMostlyFaultyFleetStillServes(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b", "c", "d")
-	for _, s := range d.balancer.ready {
+	for _, s := range d.balancer.servers.ready {
 		for range 20 {
 			d.balancer.recordFault(s)
 		}
@@ -45,7 +45,7 @@
 			t.Fatalf("request %d is held", i)
 		}
 	}
-	worst := d.balancer.ready[0] // one that is worse than the rest is still left out
+	worst := d.balancer.servers.ready[0] // one that is worse than the rest is still left out
 	for range 200 {
 		d.balancer.recordFault(worst)
 	}
@@ -64,7 +64,7 @@
 		{1.2, 0.69, 1}, {1.2, 0.71, 2}, // a full one: nearly full never passes as low
 	}
 	for _, tt := range tests {
-		b := &Balancer{meanLoad: tt.usual}
+		b := &Balancer{fleet: fleetEstimate{meanLoad: tt.usual}}
 		if got := b.level(tt.load); got != tt.want {
 			t.Errorf("level of %.2f at usual %.2f is %d, want %d", tt.load, tt.usual, got, tt.want)
 		}
@@ -115,7 +115,7 @@
 	for range 40 {
 		d.answerProbe("a", 1)
 	}
-	b, s := d.balancer, d.balancer.servers["a"]
+	b, s := d.balancer, d.balancer.servers.byID["a"]
 	s.reportedLoad = 0.72 // a lucky reading
 	if got := b.estimatedLoad(s); got < fullLoad {
 		t.Errorf("load %.2f, want at least %.2f", got, fullLoad)
--- a/balance/endpoints_test.go
+++ b/balance/endpoints_test.go
@@ -57,7 +57,7 @@
 	d := newDriver(t, testSettings(), "a", "b")
 	d.updateList(ListDelta, ServerEntry{ID: "a", State: Draining})
 	d.updateList(ListFull, readyEntries("b")...)
-	if len(d.balancer.servers) != 1 || len(d.balancer.ready) != 1 || len(d.balancer.ring) != 1 {
-		t.Errorf("%d servers, %d ready, %d on the ring; want 1 each", len(d.balancer.servers), len(d.balancer.ready), len(d.balancer.ring))
+	if len(d.balancer.servers.byID) != 1 || len(d.balancer.servers.ready) != 1 || len(d.balancer.servers.ring) != 1 {
+		t.Errorf("%d servers, %d ready, %d on the ring; want 1 each", len(d.balancer.servers.byID), len(d.balancer.servers.ready), len(d.balancer.servers.ring))
 	}
 }
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -1,72 +1,81 @@
 package balance
 
-// Sums that fade, small means, and the hash of the ring. Nothing is decided here.
+// Decaying counters, and what is estimated of the fleet by them. Nothing is decided here.
 
 import (
-	"cmp"
 	"math"
 	"time"
 )
 
-// fading is a sum whose parts decay exponentially.
+// decayingCounter is a sum whose parts decay exponentially, as those of an EWMA do.
 type decayingCounter struct {
-	timeConstant time.Duration
-	sum          float64
-	updatedAt    time.Duration // when sum was right
+	timeConstant time.Duration // a part falls to 1/e of itself in this time
+	sum          float64       // as of updatedAt
+	updatedAt    time.Duration
 }
 
+// value is what is left of the sum by now.
 func (c *decayingCounter) value(now time.Duration) float64 {
 	return c.sum * decay(now-c.updatedAt, c.timeConstant)
 }
 
 func (c *decayingCounter) add(now time.Duration, amount float64) {
-	c.sum, c.updatedAt = c.value(now)+amount, now
+	c.sum = c.value(now) + amount
+	c.updatedAt = now
 }
 
-// perSecond brings the sum up to date and returns it as a rate.
+// rate brings the sum up to date and returns it as a rate per second.
 func (c *decayingCounter) rate(now time.Duration) float64 {
 	c.add(now, 0)
 	return c.sum / c.timeConstant.Seconds()
 }
 
+// decay is the part that is left of something of the given age.
 func decay(age, timeConstant time.Duration) float64 {
 	return math.Exp(-float64(age) / float64(timeConstant))
 }
 
-// takeBack takes off what r weighs where it was sent: that attempt has come to nothing.
-func (r *request) releasePlacedLoad(now time.Duration) (was *server) {
-	was, r.server = r.server, nil
-	if was != nil {
-		was.placedLoad.add(now, -r.addedLoad*decay(now-r.startedAt, was.placedLoad.timeConstant))
+// recordProbeRTT follows the usual round-trip time of a probe and its deviation, in seconds.
+func (f *fleetEstimate) recordProbeRTT(rtt float64) {
+	if f.probeRTT == 0 {
+		f.probeRTT, f.probeRTTDeviation = rtt, rtt/2
+		return
 	}
-	return was
+	f.probeRTTDeviation += (math.Abs(rtt-f.probeRTT) - f.probeRTTDeviation) / 16
+	f.probeRTT += (rtt - f.probeRTT) / 16
 }
 
-// learnTrip follows the usual time of a probe and its deviation.
-func (b *Balancer) recordProbeRTT(rtt float64) {
-	if b.probeRTT == 0 {
-		b.probeRTT, b.probeRTTDeviation = rtt, rtt/2
-		return
+// maxHintSamples is how many load hints their mean is taken from.
+const maxHintSamples = 64
+
+// loadFactor returns a hint over the mean of hints, and counts it in the mean. It is bounded:
+// the hint of one client must not make all other connections weigh nothing. A hint that is no
+// number above 0 gives 1.
+func (f *fleetEstimate) loadFactor(hint float64) float64 {
+	if !(hint > 0) || math.IsInf(hint, 1) {
+		return 1
 	}
-	b.probeRTTDeviation += (math.Abs(rtt-b.probeRTT) - b.probeRTTDeviation) / 16
-	b.probeRTT += (rtt - b.probeRTT) / 16
+	if f.hintSamples == 0 {
+		f.meanHint = hint
+	}
+	f.hintSamples = min(f.hintSamples+1, maxHintSamples)
+	factor := min(max(hint/f.meanHint, 1/maxLoadFactor), maxLoadFactor)
+	f.meanHint += (factor - 1) * f.meanHint / f.hintSamples
+	return factor
 }
 
-// fault holds a failure against s for a while.
+// recordFault counts a failure that this instance has seen of s.
 func (b *Balancer) recordFault(s *server) {
 	s.recentFaults.add(b.now, 1)
 	s.observedFailures.add(b.now, 1)
 }
 
-// hash is FNV-1a with a final mix, which spreads short words that differ in
-// their last letters only.
-func ringHash(name string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * 1099511628211
+// updateFewestFaults finds how many faults the ready server has that has the fewest.
+func (b *Balancer) updateFewestFaults() {
+	b.fleet.fewestFaults = 0
+	for i, s := range b.servers.ready {
+		if faults := s.recentFaults.value(b.now); i == 0 || faults < b.fleet.fewestFaults {
+			b.fleet.fewestFaults = faults
+		}
 	}
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	return h ^ h>>33
 }
-
-func compareRingHash(s *server, h uint64) int { return cmp.Compare(s.ringHash, h) }
--- a/balance/events.go
+++ b/balance/events.go
@@ -1,23 +1,18 @@
-// Package balance decides where long-lived connections go.
-//
-// A [Balancer] is one balancer of many. It is told what happens as events and
-// answers with actions; it has no clock, no goroutines and does no I/O, so the
-// program that links it keeps those. Instances share nothing but what a [Granted] says.
 package balance
 
-// This file holds the events and no decisions; handle.go says where those are.
+// What happens to an instance. Nothing is decided here.
 
 import "time"
 
-// Load is a server's load report. A field that was not reported is negative.
+// LoadReport is a server's load report. A field that was not reported is negative.
 type LoadReport struct {
-	Utilization    float64 // load asked over what the server can do
+	Utilization    float64 // load asked of the server over what it can do
 	CPUUtilization float64 // share of its cores in use
-	Inflight       float64 // requests or connections held
+	Inflight       float64 // requests or connections that it holds
 	LatencyMillis  float64 // recent service time, milliseconds
 }
 
-// NoLoad is a report without any field.
+// EmptyLoadReport is a report without any field.
 var EmptyLoadReport = LoadReport{Utilization: -1, CPUUtilization: -1, Inflight: -1, LatencyMillis: -1}
 
 // ServerState is what the server list says of a server.
@@ -25,8 +20,8 @@
 
 // The states of a server.
 const (
-	Ready ServerState = iota
-	Draining
+	Ready    ServerState = iota
+	Draining             // it takes no new connections, and those that stand are migrated
 	Gone
 )
 
@@ -34,7 +29,7 @@
 type ServerEntry struct {
 	ID        string
 	Zone      string
-	Cell      int // servers of one cell share what keys they have seen
+	Cell      int // servers of one cell share the idempotency keys that they have seen
 	State     ServerState
 	StartedAt time.Duration // when its process last started; 0 means long ago
 }
@@ -42,11 +37,11 @@
 // Outcome is how an attempt or a probe ended.
 type Outcome int
 
-// The outcomes. Full, ConnectFailed and Moot prove that the attempt never ran.
+// The outcomes. AtCapacity, ConnectFailed and NotSent prove that the attempt never ran.
 const (
 	OK Outcome = iota
 	Errored
-	AtCapacity
+	AtCapacity // the server refused it as full
 	TimedOut
 	ConnectFailed
 	Reset
@@ -63,12 +58,12 @@
 // The kinds of list update.
 const (
 	ListDelta  ListKind = iota // changed entries only
-	ListFull                   // the whole list
-	ListCached                 // the whole list, possibly out of date
+	ListFull                   // the complete list
+	ListCached                 // the complete list, possibly out of date
 	ListFailed                 // a call failed or the subscription broke; no entries
 )
 
-// ListUpdate brings news of the servers.
+// ListUpdate brings a change of the server list.
 type ListUpdate struct {
 	Kind    ListKind
 	Entries []ServerEntry
@@ -78,38 +73,38 @@
 type Request struct {
 	ID           string
 	Class        string
-	Group        string // the connection's group; empty if none
-	LoadHint     float64
-	Reconnecting bool // the client comes again after a break or a move
-	ClientRetry  bool // the client flags it as its own repeat
+	Group        string  // the connection's group; empty if none
+	LoadHint     float64 // how heavy the connection is among others; 0 for no hint
+	Reconnecting bool    // the client comes again after a break or a migration
+	ClientRetry  bool    // the client flags it as its own retry
 	Deadline     time.Duration
 	Constraint   *ZoneConstraint // nil for none; not changed afterwards
 }
 
-// Bound says where a request may be drawn. A share is the part of the draws of a zone that
-// is kept: 1 all, 0 none, and then it is never sent there. What is below 0 or no number
-// counts as 0, what is above 1 as 1.
+// ZoneConstraint says where a request may be drawn. A share is the part of a zone's draws that
+// is kept: with 1 all, with 0 none, and then the request is never sent there. What is below 0
+// or no number counts as 0, what is above 1 as 1.
 type ZoneConstraint struct {
 	Name         string      `json:"Name"` // what set it, for people
 	Zones        []ZoneShare `json:"Zones"`
 	DefaultShare float64     `json:"Rest"` // of zones not named
 }
 
-// ZonePart is a zone's share.
+// ZoneShare is a zone's share.
 type ZoneShare struct {
 	Zone  string  `json:"Zone"`
 	Share float64 `json:"Share"`
 }
 
-// OpenConn is a connection that already runs through this instance at its
-// start. Attempt 0 counts as made.
+// OpenConnection is a connection that already runs through this instance at its start.
+// Attempt 0 counts as made.
 type OpenConnection struct {
 	Request
 	Server string
 }
 
-// Started says that a connection stands. A Latency of 0 is that of one for which nobody
-// was asked, and speaks for no server.
+// ConnectionEstablished says that an attempt's connection stands. A Latency of 0 means that the
+// server was not waited for, and says nothing of it.
 type ConnectionEstablished struct {
 	ID      string
 	Attempt int
@@ -117,8 +112,8 @@
 	Latency time.Duration
 }
 
-// AttemptEnded reports how an attempt ended. Final means that the request is
-// over with it; otherwise this instance still owes the answer.
+// AttemptEnded reports how an attempt ended. Final means that the request is over with it;
+// otherwise this instance still owes the answer.
 type AttemptEnded struct {
 	ID         string
 	Attempt    int
@@ -135,7 +130,7 @@
 // TimerFired answers a SetTimer.
 type TimerFired struct{ Token uint64 }
 
-// ProbeAnswer answers a Probe.
+// ProbeResult answers a Probe.
 type ProbeResult struct {
 	Server     string
 	Outcome    Outcome
@@ -143,8 +138,8 @@
 	LoadReport LoadReport
 }
 
-// Retuned brings other settings, which Settings.Check has passed. What is under way
-// keeps its class.
+// SettingsChanged brings other settings, which Settings.Validate has passed. Requests under way
+// keep their class.
 type SettingsChanged struct{ Settings }
 
 func (QuotaLease) event()            {}
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -1,9 +1,7 @@
 package balance
 
-// How events reach what decides, and in which order actions leave. Nothing is decided
-// here: the files that decide are named under policy in deploy/balancer.toml, in the
-// order of a request's life admission.go, draw.go, constraints.go, probe.go,
-// slowstart.go, affinity.go, placement.go, rebalance.go, and endpoints.go for the servers themselves.
+// How events reach the files that decide, and in which order actions leave. Nothing is decided
+// here.
 
 import (
 	"math"
@@ -11,21 +9,28 @@
 	"time"
 )
 
-// house is the period of housekeeping, in which nothing grows with the fleet.
+// maintenanceInterval is the period of what has to be done again and again. None of it grows
+// with the number of connections.
 const maintenanceInterval = 250 * time.Millisecond
 
-// New returns a Balancer for the given settings, which it checks.
+// maintenanceToken is the token of the timer that asks for maintenance; requests count from 1.
+const maintenanceToken = 0
+
+// New returns a Balancer for the given settings, or a [*SettingsError]. All its randomness
+// comes from the seed.
 func New(seed uint64, settings Settings) (*Balancer, error) {
 	if err := settings.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
-		rng:                rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		servers:            map[string]*server{},
-		groups:             map[string]*group{},
-		requests:           map[string]*request{},
-		requestsBySequence: map[uint64]*request{},
-		window:             maxWindow,
+		rng:     rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		servers: serverList{byID: map[string]*server{}},
+		requests: requestTable{
+			byID:       map[string]*request{},
+			bySequence: map[uint64]*request{},
+			groups:     map[string]*group{},
+		},
+		admission: admission{window: maxWindow},
 	}
 	b.applySettings(settings)
 	return b, nil
@@ -33,10 +38,12 @@
 
 // Handle takes one event and appends the actions that answer it.
 func (b *Balancer) Handle(now time.Duration, event Event, actions []Action) []Action {
-	// A clock that steps back stands still here: what fades would grow beyond all
-	// bounds, and never be a number again.
-	b.now, b.actions = max(b.now, now), actions
-	b.start()
+	// A clock that steps back stands still here: what decays would grow beyond all bounds.
+	b.now = max(b.now, now)
+	b.actions = actions
+	if !b.started {
+		b.start()
+	}
 	switch e := event.(type) {
 	case ListUpdate:
 		b.handleListUpdate(e)
@@ -49,12 +56,7 @@
 	case AttemptEnded:
 		b.handleAttemptEnded(e)
 	case ClientGone:
-		if r := b.requests[e.ID]; r != nil {
-			if r.phase == attempting {
-				r.releasePlacedLoad(b.now)
-			}
-			b.forgetRequest(r)
-		}
+		b.handleClientGone(e)
 	case TimerFired:
 		b.handleTimer(e.Token)
 	case ProbeResult:
@@ -72,51 +74,54 @@
 	return answer
 }
 
-// begin runs once, before the first event.
+// start runs once, before the first event.
 func (b *Balancer) start() {
-	if b.started {
-		return
-	}
 	b.started = true
 	b.startedAt = b.now
-	b.migrationBudget = math.Inf(1) // the first round may use the whole budget
-	b.migrationRefilledAt, b.rate[0].updatedAt, b.rate[1].updatedAt = b.now, b.now, b.now
+	b.migration.available = math.Inf(1) // the first round may use the whole budget
+	b.migration.refilledAt = b.now
+	b.fleet.recentPlacements.updatedAt = b.now
+	b.fleet.baselinePlacements.updatedAt = b.now
 	b.startSubscription()
-	b.emit(SetTimer{Delay: maintenanceInterval})
+	b.emit(SetTimer{Delay: maintenanceInterval, Token: maintenanceToken})
 }
 
+// handleClientGone gives back what a request held whose client has left.
+func (b *Balancer) handleClientGone(e ClientGone) {
+	r := b.requests.byID[e.ID]
+	if r == nil {
+		return
+	}
+	if r.phase == attempting {
+		r.releasePlacedLoad(b.now)
+	}
+	b.forgetRequest(r)
+}
+
+// handleTimer goes on with the request that a timer names, unless the timer is stale.
 func (b *Balancer) handleTimer(token uint64) {
-	if token == 0 {
+	if token == maintenanceToken {
 		b.maintain()
 		return
 	}
-	r := b.requestsBySequence[token]
+	r := b.requests.bySequence[token]
 	if r == nil || b.now < r.timerAt {
 		return
 	}
 	switch r.phase {
 	case drawing:
-		if r.awaitedServer == nil {
-			return
-		}
-		s := r.awaitedServer
-		b.stopAwaitingProbe(r)
-		switch {
-		case b.now >= r.answerDeadline:
-			b.finish(r)
-		case r.tryingAffinity:
-			b.decideAffinityServer(r, s, false)
-		default:
-			b.draw(r)
+		if s := r.awaitedServer; s != nil {
+			r.stopAwaitingProbe()
+			b.resumeDrawing(r, s, false)
 		}
-	case queued: // its turn has not come in time
+	case queued: // it was not admitted in time
 		b.finish(r)
 	case established:
 		b.migrate(r)
 	}
 }
 
-// houseKeep does what comes again and again.
+// maintain does what has to be done again and again.
 func (b *Balancer) maintain() {
 	b.admitQueued()
 	b.subscribeIfDue()
@@ -124,7 +129,7 @@
 		return
 	}
 	b.nextMaintenanceAt = b.now + maintenanceInterval
-	b.emit(SetTimer{Delay: maintenanceInterval})
+	b.emit(SetTimer{Delay: maintenanceInterval, Token: maintenanceToken})
 	b.updateFewestFaults()
 	b.probeServersInUse()
 }
--- a/balance/learned_test.go
+++ b/balance/learned_test.go
@@ -28,10 +28,10 @@
 		return n
 	}
 	n := next(m)
-	if n.balancer.AvoidedServers() != 1 || n.balancer.meanLoad != d.balancer.meanLoad || n.balancer.probeRTT != d.balancer.probeRTT {
-		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.balancer.AvoidedServers(), n.balancer.meanLoad, n.balancer.probeRTT, d.balancer.meanLoad, d.balancer.probeRTT)
+	if n.balancer.AvoidedServers() != 1 || n.balancer.fleet.meanLoad != d.balancer.fleet.meanLoad || n.balancer.fleet.probeRTT != d.balancer.fleet.probeRTT {
+		t.Errorf("%d avoided, usual %v, trip %v; want 1, %v, %v", n.balancer.AvoidedServers(), n.balancer.fleet.meanLoad, n.balancer.fleet.probeRTT, d.balancer.fleet.meanLoad, d.balancer.fleet.probeRTT)
 	}
-	sent := func(b *Balancer, id string) float64 { return b.servers[id].recentAttempts.value(n.now) }
+	sent := func(b *Balancer, id string) float64 { return b.servers.byID[id].recentAttempts.value(n.now) }
 	if sent(n.balancer, "a") == 0 || sent(n.balancer, "a") != sent(d.balancer, "a") || sent(n.balancer, "c") != 0 {
 		t.Errorf("sent a %v, want %v; and c, which is another process, %v", sent(n.balancer, "a"), sent(d.balancer, "a"), sent(n.balancer, "c"))
 	}
@@ -48,7 +48,7 @@
 		bad := m
 		bad.Servers = slices.Clone(m.Servers)
 		change(&bad)
-		if n := next(bad); sent(n.balancer, "a") != 0 || n.balancer.meanLoad != 0 || n.balancer.AvoidedServers() != 0 {
+		if n := next(bad); sent(n.balancer, "a") != 0 || n.balancer.fleet.meanLoad != 0 || n.balancer.AvoidedServers() != 0 {
 			t.Errorf("%s: part of it was taken", name)
 		}
 	}
@@ -63,7 +63,7 @@
 	d := newDriver(t, set, "a", "b", "c", "d")
 	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}
 	fail := func(id string, n int, o Outcome) []Action {
-		r := d.balancer.requests[id]
+		r := d.balancer.requests.byID[id]
 		return d.handle(AttemptEnded{ID: id, Attempt: n, Server: r.server.ID, Outcome: o, LoadReport: EmptyLoadReport})
 	}
 	retry := func(id string, actions []Action) {
@@ -153,7 +153,7 @@
 		}
 		d.now += 100 * ms
 	}
-	for _, s := range d.balancer.ready {
+	for _, s := range d.balancer.servers.ready {
 		if load, share := d.balancer.estimatedLoad(s), d.balancer.drawShare(&request{}, s); !(load < 1) || !(share > 0.05) {
 			t.Errorf("%s is at %v and is left %v of its draws", s.ID, load, share)
 		}
--- a/balance/placement_test.go
+++ b/balance/placement_test.go
@@ -158,14 +158,14 @@
 		{"its repeats' window ends while it waits", keyed, func(d *driver) []Action {
 			d.answerProbe(actionsOf[Probe](d.sendRequest("r"))[0].Server, 0.1)
 			d.balancer.reduceWindow()
-			d.balancer.backoffEndsAt = d.now + time.Second
+			d.balancer.admission.backoffEndsAt = d.now + time.Second
 			d.handle(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, LoadReport: EmptyLoadReport})
 			return d.runUntil(d.now + 102*ms)
 		}},
 		{"its repeats' window ends while it is probed", keyed, func(d *driver) []Action {
 			d.answerProbe(actionsOf[Probe](d.sendRequest("r"))[0].Server, 0.1)
 			d.now += 90 * ms
-			asked := actionsOf[Probe](d.handle(AttemptEnded{ID: "r", Server: d.balancer.requests["r"].server.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
+			asked := actionsOf[Probe](d.handle(AttemptEnded{ID: "r", Server: d.balancer.requests.byID["r"].server.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
 			d.now += 20 * ms
 			return d.answerProbe(asked[0].Server, 0.1)
 		}},
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -40,9 +40,9 @@
 				tell("a", loadReport(0.5, 20))
 				tell("b", loadReport(0.5, 20))
 			}
-			usual := d.balancer.meanLoad
+			usual := d.balancer.fleet.meanLoad
 			tell("a", l)
-			if got := d.balancer.meanLoad; !(math.Abs(got-usual) < 0.2) {
+			if got := d.balancer.fleet.meanLoad; !(math.Abs(got-usual) < 0.2) {
 				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
 			}
 			if believed := l.Utilization >= 0 && l.Utilization < 1; !believed {
@@ -58,11 +58,11 @@
 					t.Error("passed as low")
 				}
 			}
-			if w := d.balancer.estimateAddedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers["a"]); !(w > 0.001) || w > 0.25 {
+			if w := d.balancer.estimateAddedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers.byID["a"]); !(w > 0.001) || w > 0.25 {
 				t.Errorf("a connection weighs %v there", w)
 			}
 			tell("a", loadReport(0.5, 20))
-			if got := d.balancer.estimatedLoad(d.balancer.servers["a"]); !(math.Abs(got-0.5) < 0.2) {
+			if got := d.balancer.estimatedLoad(d.balancer.servers.byID["a"]); !(math.Abs(got-0.5) < 0.2) {
 				t.Errorf("load %v after a sound report of 0.5", got)
 			}
 		})
@@ -78,7 +78,7 @@
 			hinted := func(id string, hint float64) float64 {
 				d.handle(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
 				d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
-				w := d.balancer.estimateAddedLoad(d.balancer.requests[id], d.balancer.servers["a"])
+				w := d.balancer.estimateAddedLoad(d.balancer.requests.byID[id], d.balancer.servers.byID["a"])
 				d.handle(ClientGone{ID: id})
 				return w
 			}
@@ -102,7 +102,7 @@
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
 		d.handle(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-		if w := d.balancer.estimateAddedLoad(d.balancer.requests[fmt.Sprint("r", i)], d.balancer.servers["a"]); w < 0.0006 {
+		if w := d.balancer.estimateAddedLoad(d.balancer.requests.byID[fmt.Sprint("r", i)], d.balancer.servers.byID["a"]); w < 0.0006 {
 			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
 		}
 	}
@@ -119,7 +119,7 @@
 	d.answerProbe("a", 0.5)
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.5, 100)})
 	d.handle(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
-	if w := d.balancer.estimateAddedLoad(d.balancer.requests["r"], d.balancer.servers["a"]); w > 0.01 {
+	if w := d.balancer.estimateAddedLoad(d.balancer.requests.byID["r"], d.balancer.servers.byID["a"]); w > 0.01 {
 		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
 	}
 }
@@ -163,7 +163,7 @@
 	d := newDriver(t, testSettings(), "a")
 	l := loadReport(0.4, 8)
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	before := d.balancer.estimatedLoad(d.balancer.servers["a"])
+	before := d.balancer.estimatedLoad(d.balancer.servers.byID["a"])
 	for i := range 5 {
 		id := string(rune('a' + i))
 		d.sendRequest(id)
@@ -175,7 +175,7 @@
 		d.runUntil(d.now + time.Second/4)
 	}
 	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	if got := d.balancer.estimatedLoad(d.balancer.servers["a"]); got > before+0.01 {
+	if got := d.balancer.estimatedLoad(d.balancer.servers.byID["a"]); got > before+0.01 {
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
 }
--- a/balance/quota_test.go
+++ b/balance/quota_test.go
@@ -122,7 +122,7 @@
 			t.Errorf("%s: %.1f failures of its own are told, want none", s.ID, s.RecentFailures)
 		}
 	}
-	d.balancer.recordFault(d.balancer.servers["c"])
+	d.balancer.recordFault(d.balancer.servers.byID["c"])
 	for _, s := range d.balancer.QuotaUsage(d.now).Servers {
 		if (s.RecentFailures > 0) != (s.ID == "c") {
 			t.Errorf("%s: %.1f failures told", s.ID, s.RecentFailures)
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -1,76 +1,77 @@
 package balance
 
-// Which connections go elsewhere? Some of those on a server in trouble, within a budget,
-// and all of those on one that drains.
+// Which connections are migrated? Some of those on an overloaded server, within a budget, and all of
+// those on a draining one.
 
 import "time"
 
 const (
-	// relieveOver is the load above which a server sheds connections if it is
-	// also uneven times above the fleet's usual, down to that but not below
-	// relieveTo: what moves costs its client a moment and its new server a group's
-	// load, so neither noise nor a load that is still served well must do it. Above
-	// overload it sheds wherever the others stand: a full server serves nobody, and
-	// its clients wait better outside.
-	rebalanceThreshold, rebalanceTarget, unevenRatio, overloadThreshold = 0.82, 0.7, 1.35, 0.97
-	// relieveEvery is the pause between two rounds of moves from a server, so
-	// that the reports show the first before the second is decided.
+	// rebalanceThreshold is the load above which a server gives up connections if it is also
+	// unevenRatio times above the fleet's mean, down to that mean but not below rebalanceTarget: a
+	// migration costs the client a moment and the new server a group's load, so neither noise nor a
+	// load that is still served well must cause it. Above overloadThreshold it gives up connections
+	// wherever the others stand: a full server serves nobody, and its clients wait better outside.
+	rebalanceThreshold, rebalanceTarget = 0.82, 0.7
+	unevenRatio, overloadThreshold      = 1.35, 0.97
+	// rebalanceInterval is the pause between two rounds of migrations from a server, so that the
+	// reports show the first before the second is decided.
 	rebalanceInterval = 2 * time.Second
-	// movesPerSecond is the share of its connections that an instance may move
-	// a second, so that moves never make a reconnect wave of their own.
+	// migrationsPerSecond is the share of its connections that an instance may migrate a second, so
+	// that migrations never make a reconnect wave of their own.
 	migrationsPerSecond = 0.1
-	// lookAfter is how long after connections were taken over their server is
-	// looked at: by then its report shows them. No draw of ours put them there.
-	// lookEvery is how long a server that holds connections goes unprobed at most:
-	// draws alone may not meet it for many seconds, and it serves nobody meanwhile
-	// if it has grown full or slow.
-	takeoverProbeDelay, connectionProbeInterval = 500 * time.Millisecond, time.Second
+	// takeoverProbeDelay is how long after connections were taken over their server is probed: by then
+	// its report shows them. No draw of ours put them there.
+	takeoverProbeDelay = 500 * time.Millisecond
+	// connectionProbeInterval is how long a server that holds connections goes unprobed at most: draws
+	// alone may not meet it for many seconds, and it serves nobody meanwhile if it has grown full or
+	// slow.
+	connectionProbeInterval = time.Second
 	// drainSpread is the time over which connections leave a draining server.
 	drainSpread = 1500 * time.Millisecond
 )
 
-// look probes the servers that hold connections and that draws have not met of late.
+// probeServersInUse probes the servers that hold connections and that no draw has met of late.
 func (b *Balancer) probeServersInUse() {
-	for _, s := range b.ready {
+	for _, s := range b.servers.ready {
 		if len(s.connections) > 0 && b.now >= s.probeDueAt && b.canProbe() {
 			b.sendProbe(s)
 		}
 	}
 }
 
-// relieve moves connections away from a server whose report shows it well
-// above the fleet, by the share that would bring it back. Every instance does
-// the same by itself, so together they move about what is needed.
+// rebalance migrates connections away from a server whose report shows it well above the fleet, by the
+// share that would bring it back. Every instance does the same by itself, so together they migrate
+// about what is needed.
 func (b *Balancer) rebalance(s *server) {
-	threshold := max(rebalanceThreshold, min(unevenRatio*b.meanLoad, overloadThreshold))
+	mean := b.fleet.meanLoad
+	threshold := max(rebalanceThreshold, min(unevenRatio*mean, overloadThreshold))
 	if len(s.connections) == 0 || b.now < s.nextRebalanceAt || s.reportedLoad < threshold {
 		return
 	}
-	target := max(rebalanceTarget, min(b.meanLoad, rebalanceThreshold))
-	open := float64(b.openConnections)
-	b.migrationBudget = min(b.migrationBudget+migrationsPerSecond*open*(b.now-b.migrationRefilledAt).Seconds(), max(2, open/5))
-	b.migrationRefilledAt = b.now
+	b.refillMigrationBudget()
+	target := max(rebalanceTarget, min(mean, rebalanceThreshold))
 	share := 1 - target/s.reportedLoad
 	for _, r := range s.connections {
-		if b.migrationBudget >= 1 && b.rng.Float64() < share {
-			b.migrationBudget--
+		if b.migration.available >= 1 && b.rng.Float64() < share {
+			b.migration.available--
 			b.migrate(r)
 		}
 	}
-	b.logThrottled("moves: %s is at load %.2f, usual %.2f, of %d connections some move",
-		s.ID, s.reportedLoad, b.meanLoad, len(s.connections))
+	b.logRebalance(s)
 	s.nextRebalanceAt = b.now + b.jitter(rebalanceInterval, 0.3)
 	s.probeDueAt = s.nextRebalanceAt // to see whether it was enough
 }
 
-func (b *Balancer) migrate(r *request) {
-	if !r.migrating {
-		r.migrating = true
-		b.emit(Migrate{ID: r.ID})
-	}
+// refillMigrationBudget adds what the time since the last round allows, up to a fifth of all
+// connections.
+func (b *Balancer) refillMigrationBudget() {
+	m, open := &b.migration, float64(b.requests.openConnections)
+	seconds := (b.now - m.refilledAt).Seconds()
+	m.available = min(m.available+migrationsPerSecond*open*seconds, max(2, open/5))
+	m.refilledAt = b.now
 }
 
-// leave lets r leave its draining server within the spread.
+// scheduleMigration lets r leave its draining server within the spread.
 func (b *Balancer) scheduleMigration(r *request) {
 	b.setRequestTimer(r, b.now+b.jitter(drainSpread/2, 1))
 }
--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -39,7 +39,7 @@
 			d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
 		}
 		d.now += 10 * time.Second
-		d.balancer.servers["a"].reportedLoad = 3
+		d.balancer.servers.byID["a"].reportedLoad = 3
 		var got []Action
 		if answered {
 			got = d.answerProbe("a", 3)
--- a/balance/refmodel_test.go
+++ b/balance/refmodel_test.go
@@ -63,13 +63,13 @@
 		}
 	}
 	b := w.driver.balancer
-	for _, s := range b.servers {
+	for _, s := range b.servers.byID {
 		if len(s.waitingRequests) != 0 || len(s.connections) != 0 || s.State == Gone {
 			t.Errorf("%s: %d wait for its probe, %d connections, state %v", s.ID, len(s.waitingRequests), len(s.connections), s.State)
 		}
 	}
-	if len(b.requests) != 0 || len(b.requestsBySequence) != 0 || len(b.groups) != 0 || len(b.queue) != 0 || b.inSetup != 0 || b.openConnections != 0 {
+	if len(b.requests.byID) != 0 || len(b.requests.bySequence) != 0 || len(b.requests.groups) != 0 || len(b.admission.queue) != 0 || b.admission.inSetup != 0 || b.requests.openConnections != 0 {
 		t.Errorf("left: %d requests, %d numbers, %d groups, %d busy, %d open",
-			len(b.requests), len(b.requestsBySequence), len(b.groups), b.inSetup, b.openConnections)
+			len(b.requests.byID), len(b.requests.bySequence), len(b.requests.groups), b.admission.inSetup, b.requests.openConnections)
 	}
 }
--- a/balance/requests.go
+++ b/balance/requests.go
@@ -1,21 +1,26 @@
 package balance
 
-// How requests, connections, groups and timers are booked. Nothing is decided here.
+// How requests, connections and groups are tracked. Nothing is decided here.
 
 import (
-	"fmt"
 	"math"
 	"slices"
 	"time"
 )
 
-const (
-	// never is a time that does not come.
-	never = time.Duration(math.MaxInt64)
-	// noteEvery keeps the log readable in a storm.
-	logInterval = 10 * time.Second
-)
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// requestTable holds the requests and connections of this instance.
+type requestTable struct {
+	byID            map[string]*request
+	bySequence      map[uint64]*request // timers name requests by number
+	lastSequence    uint64
+	openConnections int
+	groups          map[string]*group
+}
 
+// trackRequest begins to track a request that has come.
 func (b *Balancer) trackRequest(q Request) *request {
 	class := b.classes[q.Class]
 	if class == nil { // unknown classes are treated as the first, but never repeated
@@ -23,124 +28,148 @@
 		c.Idempotency = NonIdempotent
 		class = &c
 	}
-	b.lastSequence++
-	r := &request{Request: q, sequence: b.lastSequence, class: class, loadFactor: 1}
-	if q.LoadHint > 0 && !math.IsInf(q.LoadHint, 1) {
-		// Over the mean, and bounded: one client's word must not make all others weigh
-		// nothing.
-		if b.hintSamples == 0 {
-			b.meanHint = q.LoadHint
-		}
-		b.hintSamples = min(b.hintSamples+1, 64)
-		r.loadFactor = min(max(q.LoadHint/b.meanHint, 1/maxLoadFactor), maxLoadFactor)
-		b.meanHint += (r.loadFactor - 1) * b.meanHint / b.hintSamples
-	}
-	b.requests[q.ID], b.requestsBySequence[r.sequence] = r, r
+	b.requests.lastSequence++
+	r := &request{Request: q, sequence: b.requests.lastSequence, class: class}
+	r.loadFactor = b.fleet.loadFactor(q.LoadHint)
+	b.requests.byID[q.ID] = r
+	b.requests.bySequence[r.sequence] = r
 	return r
 }
 
-// attach books r as an open connection at s.
-func (b *Balancer) attachConnection(r *request, s *server) {
-	// Timers of the time before are void: one that was still to come once
-	// moved the connection it had helped to place.
-	b.setPhase(r, established)
-	r.startedAt = b.now
-	r.server, r.connectionIndex, r.timerAt = s, len(s.connections), never
-	s.connections = append(s.connections, r)
-	b.openConnections++
-	if b.settings.Connections.GroupAffinity && r.Group != "" {
-		g := b.groups[r.Group]
-		if g == nil {
-			g = &group{}
-			b.groups[r.Group] = g
-		}
-		g.lastServer = s
-		g.members++
-	}
-	if s.State == Draining {
-		b.scheduleMigration(r)
-	}
-}
-
-func (b *Balancer) detachConnection(r *request) {
-	s := r.server
-	last := len(s.connections) - 1
-	s.connections[r.connectionIndex] = s.connections[last]
-	s.connections[r.connectionIndex].connectionIndex = r.connectionIndex
-	s.connections[last] = nil
-	s.connections = s.connections[:last]
-	b.openConnections--
-	if g := b.groups[r.Group]; g != nil {
-		if g.members--; g.members == 0 {
-			delete(b.groups, r.Group)
-		}
-	}
-	if last == 0 && s.State == Gone && b.servers[s.ID] == s {
-		delete(b.servers, s.ID)
-	}
-}
-
-// forget drops all that is kept of r.
+// forgetRequest drops all that is kept of r, and admits others in its place.
 func (b *Balancer) forgetRequest(r *request) {
 	if r.awaitedServer != nil {
-		b.stopAwaitingProbe(r)
+		r.stopAwaitingProbe()
 	}
 	if r.phase == established && r.server != nil {
 		b.detachConnection(r)
 	}
 	if r.phase == queued {
-		b.removeFromQueue(r)
+		b.admission.removeFromQueue(r)
 	}
 	b.setPhase(r, ended)
-	delete(b.requests, r.ID)
-	delete(b.requestsBySequence, r.sequence)
+	delete(b.requests.byID, r.ID)
+	delete(b.requests.bySequence, r.sequence)
 	b.admitQueued()
 }
 
-// unqueue takes r out of the queue. It is served newest first: in a long
-// congestion what had ended would lie at its bottom for good.
-func (b *Balancer) removeFromQueue(r *request) {
-	if i := slices.Index(b.queue, r); i >= 0 {
-		b.queue = slices.Delete(b.queue, i, i+1)
+// setPhase changes r's phase and counts the requests in set-up.
+func (b *Balancer) setPhase(r *request, phase requestPhase) {
+	wasInSetup := r.phase == drawing || r.phase == attempting
+	isInSetup := phase == drawing || phase == attempting
+	if wasInSetup && !isInSetup {
+		b.admission.inSetup--
+	} else if isInSetup && !wasInSetup {
+		b.admission.inSetup++
+	}
+	r.phase = phase
+}
+
+// removeFromQueue takes r out of the queue. It is served newest first: in a long congestion
+// what had ended would stay at its bottom for good.
+func (a *admission) removeFromQueue(r *request) {
+	if i := slices.Index(a.queue, r); i >= 0 {
+		a.queue = slices.Delete(a.queue, i, i+1)
 	}
 }
 
-func (b *Balancer) stopAwaitingProbe(r *request) {
-	r.awaitedServer.waitingRequests = slices.DeleteFunc(r.awaitedServer.waitingRequests, func(w *request) bool { return w == r })
+// stopAwaitingProbe takes r off the requests that wait for a probe's result.
+func (r *request) stopAwaitingProbe() {
+	s := r.awaitedServer
+	s.waitingRequests = slices.DeleteFunc(s.waitingRequests, func(w *request) bool { return w == r })
 	r.awaitedServer = nil
 }
 
-// enter changes r's phase and counts those that draw or are being set up.
-func (b *Balancer) setPhase(r *request, phase requestPhase) {
-	wasInSetup, isInSetup := r.phase == drawing || r.phase == attempting, phase == drawing || phase == attempting
-	if wasInSetup && !isInSetup {
-		b.inSetup--
-	} else if isInSetup && !wasInSetup {
-		b.inSetup++
+// recordAttempt counts an attempt of r that is being sent to s.
+func (b *Balancer) recordAttempt(r *request, s *server) {
+	r.server, r.startedAt, r.timerAt = s, b.now, never
+	r.attemptCount++
+	b.fleet.recentPlacements.add(b.now, 1)
+	if r.attemptCount > 1 {
+		b.fleet.retries.add(b.now, 1)
+		b.quota.retryBudget--
+	} else if !r.Reconnecting && !r.ClientRetry {
+		b.fleet.baselinePlacements.add(b.now, 1)
+	}
+	r.addedLoad = b.estimateAddedLoad(r, s)
+	s.placedLoad.add(b.now, r.addedLoad)
+	s.recentAttempts.add(b.now, 1)
+	s.observedAttempts.add(b.now, 1)
+	s.tokensUsed++
+	if b.hasLease() {
+		b.quota.zone(s.Zone).tokensUsed++
 	}
-	r.phase = phase
 }
 
-func (b *Balancer) emit(a Action) { b.actions = append(b.actions, a) }
+// releasePlacedLoad takes off what r counts as placed where its attempt was sent, since that
+// has come to nothing, and returns that server.
+func (r *request) releasePlacedLoad(now time.Duration) *server {
+	s := r.server
+	r.server = nil
+	if s != nil {
+		s.placedLoad.add(now, -r.addedLoad*decay(now-r.startedAt, s.placedLoad.timeConstant))
+	}
+	return s
+}
 
-// wakeAt asks to look at r again at the given time.
-func (b *Balancer) setRequestTimer(r *request, at time.Duration) {
-	// Timers count in microseconds: one that came a fraction early would be
-	// taken for an old one, and r would wait for good.
-	delay := max(at-b.now, b.settings.Tick).Truncate(time.Microsecond)
-	r.timerAt = b.now + delay
-	b.emit(SetTimer{Delay: delay, Token: r.sequence})
+// attachConnection records r as an open connection at s.
+func (b *Balancer) attachConnection(r *request, s *server) {
+	b.setPhase(r, established)
+	r.server, r.startedAt = s, b.now
+	// Timers set before are void: one that was still to come once migrated the connection that
+	// it had helped to place.
+	r.timerAt = never
+	r.connectionIndex = len(s.connections)
+	s.connections = append(s.connections, r)
+	b.requests.openConnections++
+	if b.settings.Connections.GroupAffinity && r.Group != "" {
+		b.requests.joinGroup(r.Group, s)
+	}
+	if s.State == Draining {
+		b.scheduleMigration(r)
+	}
 }
 
-// note logs a line for those on call, at most one in each noteEvery.
-func (b *Balancer) logThrottled(message string, args ...any) {
-	if b.now >= b.nextLogAt {
-		b.nextLogAt = b.now + logInterval
-		b.emit(Log{Text: fmt.Sprintf(message, args...)})
+// detachConnection records that the open connection r has ended.
+func (b *Balancer) detachConnection(r *request) {
+	s := r.server
+	last := len(s.connections) - 1
+	s.connections[r.connectionIndex] = s.connections[last]
+	s.connections[r.connectionIndex].connectionIndex = r.connectionIndex
+	s.connections[last] = nil
+	s.connections = s.connections[:last]
+	b.requests.openConnections--
+	b.requests.leaveGroup(r.Group)
+	b.servers.removeIfGone(s)
+}
+
+// migrate ends the open connection r gracefully, once.
+func (b *Balancer) migrate(r *request) {
+	if !r.migrating {
+		r.migrating = true
+		b.emit(Migrate{ID: r.ID})
 	}
 }
 
-// jitter spreads d by up to the given share either way.
-func (b *Balancer) jitter(d time.Duration, share float64) time.Duration {
-	return time.Duration(float64(d) * (1 + share*(2*b.rng.Float64()-1)))
+// joinGroup counts a member of a group that was placed at s.
+func (t *requestTable) joinGroup(name string, s *server) {
+	g := t.groups[name]
+	if g == nil {
+		g = &group{}
+		t.groups[name] = g
+	}
+	g.lastServer = s
+	g.members++
+}
+
+// leaveGroup counts a member that has ended, and forgets a group without members.
+func (t *requestTable) leaveGroup(name string) {
+	g := t.groups[name]
+	if g == nil {
+		return
+	}
+	g.members--
+	if g.members == 0 {
+		delete(t.groups, name)
+	}
 }
--- /dev/null
+++ b/balance/serverlist.go
@@ -0,0 +1,79 @@
+package balance
+
+// The servers, those that are ready, and the ring on which groups find theirs. Nothing is
+// decided here.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// serverList holds the servers of this instance.
+type serverList struct {
+	byID  map[string]*server
+	ready []*server // draws are uniform over these
+	ring  []*server // the ready servers, ordered by ring hash
+}
+
+// add returns a new server that is not ready. Attempts count for attemptTime.
+func (l *serverList) add(id string, attemptTime time.Duration) *server {
+	s := &server{readyIndex: -1, reportedLoad: -1, ringHash: ringHash(id)}
+	s.placedLoad.timeConstant = reportDelay
+	s.recentFaults.timeConstant = faultDecay
+	s.recentAttempts.timeConstant = attemptTime
+	s.observedAttempts.timeConstant = observationDecay
+	s.observedFailures.timeConstant = observationDecay
+	l.byID[id] = s
+	return s
+}
+
+// setReady adds s to the ready servers or removes it from them.
+func (l *serverList) setReady(s *server, ready bool) {
+	switch {
+	case ready && !s.isReady():
+		s.readyIndex = len(l.ready)
+		l.ready = append(l.ready, s)
+		l.ring = slices.Insert(l.ring, l.ringIndex(s.ringHash), s)
+	case !ready && s.isReady():
+		last := l.ready[len(l.ready)-1]
+		l.ready[s.readyIndex], last.readyIndex = last, s.readyIndex
+		l.ready = l.ready[:len(l.ready)-1]
+		l.ring = slices.DeleteFunc(l.ring, func(other *server) bool { return other == s })
+		s.readyIndex = -1
+	}
+}
+
+// removeIfGone forgets s once it is gone and holds no connection.
+func (l *serverList) removeIfGone(s *server) {
+	if s.State == Gone && len(s.connections) == 0 && l.byID[s.ID] == s {
+		delete(l.byID, s.ID)
+	}
+}
+
+// ringIndex is the index on the ring of the first server at or after the hash.
+func (l *serverList) ringIndex(hash uint64) int {
+	i, _ := slices.BinarySearchFunc(l.ring, hash, func(s *server, h uint64) int { return cmp.Compare(s.ringHash, h) })
+	return i
+}
+
+// AvoidedServers counts the listed servers that are left out of all or of most draws.
+func (b *Balancer) AvoidedServers() (count int) {
+	for _, s := range b.servers.byID {
+		if s.State != Gone && (!s.isReady() || b.faultShare(s)*b.constraintShare(&request{}, s) < 0.5) {
+			count++
+		}
+	}
+	return count
+}
+
+// ringHash is FNV-1a with a final mix, which spreads short names that differ in their last
+// letters only.
+func ringHash(name string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	return h ^ h>>33
+}
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -108,7 +108,7 @@
 		d.handle(AttemptEnded{ID: fmt.Sprint("o", i), Server: "a", Outcome: Reset, Final: true, LoadReport: EmptyLoadReport})
 	}
 	d.updateList(ListDelta, ServerEntry{ID: "a", StartedAt: d.now})
-	s := d.balancer.servers["a"]
+	s := d.balancer.servers.byID["a"]
 	if p, cold := d.balancer.drawShare(&request{}, s), d.balancer.slowStartDrawShare(d.balancer.capacityShare(s)); p < min(d.balancer.capacityShare(s), cold)*0.9 || d.balancer.estimatedLoad(s) >= 0 {
 		t.Errorf("share %.3f of its draws, %.3f for a cold server; load %.2f by hearsay", p, cold, d.balancer.estimatedLoad(s))
 	}
@@ -122,7 +122,7 @@
 		set.Processes = processes
 		d := newDriver(t, set, "a", "b", "c", "d")
 		d.handle(ListUpdate{Entries: []ServerEntry{{ID: "a", StartedAt: d.now}}})
-		s, n := d.balancer.servers["a"], 0
+		s, n := d.balancer.servers.byID["a"], 0
 		for ; d.balancer.hasCapacity(s); n++ {
 			s.recentAttempts.add(d.balancer.now, 1)
 		}
