--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// A timer that came a fraction of a microsecond before its time was taken for
-// an old one, and the request it stood for was never answered.
+// A timer that came a fraction of a microsecond before its time was taken for a stale one, and
+// its request was never answered.
 func TestQueuedRequestIsAnsweredBeforeDeadline(t *testing.T) {
 	for seed := range 200 {
 		d := newDriver(t, testSettings())
@@ -21,56 +21,57 @@
 			d.timers[i].at = d.timers[i].at.Truncate(time.Microsecond)
 		}
 		if got := actionsOf[Reject](d.runUntil(3 * time.Second)); len(got) != 1 {
-			t.Fatalf("seed %d: %d refusals with no server known, want 1", seed, len(got))
+			t.Fatalf("seed %d: rejected %d times with no server known, want once", seed, len(got))
 		}
 	}
 }
 
-// Probe answers that kept coming carried a request past the time for its
-// answer, and it was sent too late to be answered at all.
+// Probe results that kept coming carried a request past the time for its answer, and it was
+// sent too late to be answered at all.
 func TestProbeResultsDoNotExtendDeadline(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b", "c")
-	actions := d.sendRequest("r")
-	d.now += 2*time.Second - ms // past the give-up time, its timer still to come
-	asked := actionsOf[Probe](actions)
-	if len(asked) != 1 {
-		t.Fatalf("%d probes, want 1", len(asked))
+	probes := actionsOf[Probe](d.sendRequest("r"))
+	if len(probes) != 1 {
+		t.Fatalf("%d probes, want 1", len(probes))
 	}
-	got := d.answerProbe(asked[0].Server, 0.1)
+	d.now += 2*time.Second - ms // past the answer deadline, its timer still to come
+	got := d.answerProbe(probes[0].Server, 0.1)
 	if len(actionsOf[Reject](got)) != 1 || len(actionsOf[Attempt](got)) != 0 {
-		t.Errorf("got %v, want one refusal", got)
+		t.Errorf("got %v, want one rejection", got)
 	}
 }
 
-// A server drops the connections it has just taken: the report that sent them
-// there was old. Placements must then keep a distance, whatever reports say.
+// A server drops the connections it has just taken: the report that sent them there was old.
+// Placements must then keep a distance, whatever reports say.
 func TestEarlyResetPausesAdmission(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b")
-	loads := map[string]float64{"a": 0.1, "b": 0.1}
-	_, at := placeRequest(d, "r1", loads)
-	d.handle(ConnectionEstablished{ID: "r1", Server: at})
+	loads := equalLoads(0.1, "a", "b")
+	_, server := d.placeRequest("r1", loads)
+	d.handle(ConnectionEstablished{ID: "r1", Server: server})
 	d.now += 100 * ms
-	d.handle(AttemptEnded{ID: "r1", Server: at, Outcome: Reset, Final: true, LoadReport: EmptyLoadReport})
-	if probes, at := placeRequest(d, "r2", loads); probes != 0 || at != "" {
-		t.Errorf("placed on %q after %d probes at once, want a pause", at, probes)
+	d.endConnection("r1", server, Reset)
+	if probes, server := d.placeRequest("r2", loads); probes != 0 || server != "" {
+		t.Errorf("placed on %q after %d probes at once, want a pause", server, probes)
 	}
-	if got := actionsOf[Probe](d.runUntil(d.now + minBackoff*2)); len(got) != 1 {
+	if got := actionsOf[Probe](d.runFor(minBackoff * 2)); len(got) != 1 {
 		t.Errorf("%d probes after the pause, want 1", len(got))
 	}
 }
 
-// In a long congestion the newest go first. Who was passed over for the time of its aim
-// is told so, and when to return; it was kept until its client was about to give up.
+// In a long congestion the newest go first. A request that is not admitted within its latency
+// objective is answered then, with a Retry-After; it was kept until its client was about to
+// give up.
 func TestQueuedRequestIsAnsweredWithinLatencyObjective(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
 	d.balancer.reduceWindow()
 	d.balancer.admission.backoffEndsAt = d.now + 10*time.Second
-	asked := d.now
+	sentAt := d.now
 	d.sendRequest("r")
-	for d.now < asked+2*time.Second {
-		if got := actionsOf[Reject](d.runUntil(d.now + ms)); len(got) == 1 {
-			if took := d.now - asked; took > 410*ms || got[0].RetryAfter == 0 {
-				t.Errorf("answered after %v with a pause of %v, want its aim of 400 ms and a pause", took, got[0].RetryAfter)
+	for d.now < sentAt+2*time.Second {
+		if got := actionsOf[Reject](d.runFor(ms)); len(got) == 1 {
+			if took := d.now - sentAt; took > 410*ms || got[0].RetryAfter == 0 {
+				t.Errorf("answered after %v with a Retry-After of %v, want 400 ms and a Retry-After",
+					took, got[0].RetryAfter)
 			}
 			return
 		}
@@ -79,28 +80,22 @@
 }
 
 func TestRejectsWithoutAnyServer(t *testing.T) {
-	tests := []struct {
-		name   string
-		set    func(*Settings)
-		server []string
-	}{
-		{"no server known", func(*Settings) {}, nil},
-		{"no retry-after", func(s *Settings) { s.Limits.SendRetryAfter = false }, nil},
-	}
-	for _, tt := range tests {
-		set := testSettings()
-		tt.set(&set)
-		d := newDriver(t, set, tt.server...)
-		d.sendRequest("r")
-		got := actionsOf[Reject](d.runUntil(d.now + 2*time.Second))
-		if len(got) != 1 || (got[0].RetryAfter > 0) != set.Limits.SendRetryAfter {
-			t.Errorf("%s: %v, want one refusal", tt.name, got)
-		}
+	for name, sendRetryAfter := range map[string]bool{"with Retry-After": true, "without Retry-After": false} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			settings.Limits.SendRetryAfter = sendRetryAfter
+			d := newDriver(t, settings)
+			d.sendRequest("r")
+			got := actionsOf[Reject](d.runFor(2 * time.Second))
+			if len(got) != 1 || (got[0].RetryAfter > 0) != sendRetryAfter {
+				t.Errorf("%v, want one rejection", got)
+			}
+		})
 	}
 }
 
-// In order of arrival every request in a queue got its turn when its time was
-// almost up, and all set-ups were in vain.
+// In order of arrival every request in a queue was admitted when its time was almost up, and
+// all set-ups were in vain.
 func TestQueueIsLastInFirstOut(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
 	d.balancer.admission.window = 1
@@ -109,7 +104,7 @@
 	d.now += 10 * ms
 	d.sendRequest("new")
 	for limit := d.now + time.Second; d.now < limit; {
-		if len(actionsOf[Probe](d.runUntil(d.now+ms))) > 0 {
+		if len(actionsOf[Probe](d.runFor(ms))) > 0 {
 			break
 		}
 	}
@@ -118,8 +113,8 @@
 	}
 }
 
-// The queue is served newest first: in a long congestion what had ended lay at
-// its bottom for good.
+// The queue is served newest first: in a long congestion what had ended stayed at its bottom
+// for good.
 func TestQueueDropsEndedRequests(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
 	d.balancer.reduceWindow()
@@ -127,7 +122,7 @@
 		d.sendRequest(fmt.Sprint("r", i))
 	}
 	d.handle(ClientGone{ID: "r0"})
-	if len(d.balancer.admission.queue) != 2 {
-		t.Errorf("%d in the queue, want the 2 that wait", len(d.balancer.admission.queue))
+	if length := len(d.balancer.admission.queue); length != 2 {
+		t.Errorf("%d in the queue, want the 2 that wait", length)
 	}
 }
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// BenchmarkPlace takes a connection from its arrival to its end. Its cost must
-// not grow with the fleet.
+// BenchmarkPlace takes a connection from its arrival to its end. Its cost must not grow with the
+// fleet.
 func BenchmarkPlace(bm *testing.B) {
 	for _, servers := range []int{20, 2000} {
 		bm.Run(fmt.Sprint(servers, "servers"), func(bm *testing.B) {
@@ -19,23 +19,23 @@
 			for i := range servers {
 				ids = append(ids, fmt.Sprint("s", i))
 			}
+			now, report := time.Second, loadReport(0.1, -1)
 			actions := b.Handle(0, ListUpdate{Kind: ListFull, Entries: readyEntries(ids...)}, nil)
-			now, load := time.Second, EmptyLoadReport
-			load.Utilization = 0.1
+			handle := func(event Event) { actions = b.Handle(now, event, actions[:0]) }
 			bm.ReportAllocs()
 			for bm.Loop() {
 				now += 10 * ms
 				placed := ""
-				actions = b.Handle(now, Request{ID: "r", Class: "c", Deadline: now + time.Second}, actions[:0])
+				handle(Request{ID: "r", Class: "c", Deadline: now + time.Second})
 				for placed == "" {
 					probe := actionsOf[Probe](actions)[0]
-					actions = b.Handle(now, ProbeResult{Server: probe.Server, Outcome: OK, Latency: ms, LoadReport: load}, actions[:0])
-					if sent := actionsOf[Attempt](actions); len(sent) > 0 {
-						placed = sent[0].Server
+					handle(ProbeResult{Server: probe.Server, Outcome: OK, Latency: ms, LoadReport: report})
+					if attempts := actionsOf[Attempt](actions); len(attempts) > 0 {
+						placed = attempts[0].Server
 					}
 				}
-				b.Handle(now, ConnectionEstablished{ID: "r", Server: placed}, actions[:0])
-				b.Handle(now, AttemptEnded{ID: "r", Server: placed, Outcome: OK, Final: true, LoadReport: EmptyLoadReport}, actions[:0])
+				handle(ConnectionEstablished{ID: "r", Server: placed})
+				handle(AttemptEnded{ID: "r", Server: placed, Outcome: OK, Final: true, LoadReport: EmptyLoadReport})
 			}
 		})
 	}
--- a/balance/draw_test.go
+++ b/balance/draw_test.go
@@ -9,9 +9,9 @@
 
 func TestLowDrawDecidesAtOnce(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b", "c")
-	probes, at := placeRequest(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1})
-	if probes != 1 || at == "" {
-		t.Errorf("placed on %q after %d probes, want 1 probe", at, probes)
+	probes, server := d.placeRequest("r", equalLoads(0.1, "a", "b", "c"))
+	if probes != 1 || server == "" {
+		t.Errorf("placed on %q after %d probes, want 1 probe", server, probes)
 	}
 }
 
@@ -24,14 +24,14 @@
 		loads[id] = fullLoad - 0.04 + float64(i)/1000
 	}
 	d := newDriver(t, testSettings(), ids...)
-	probes, at := placeRequest(d, "r", loads)
-	if probes > trials || probes < 2 || at == "" {
-		t.Errorf("placed on %q after %d probes, want at most %d", at, probes, trials)
+	probes, server := d.placeRequest("r", loads)
+	if probes > trials || probes < 2 || server == "" {
+		t.Errorf("placed on %q after %d probes, want at most %d", server, probes, trials)
 	}
 }
 
-// Where every server had a few faults most draws were void, a fifth of the rounds ended
-// with none, and that counted as congestion: placements paused although all could serve.
+// Where every server had a few faults most draws were void, a fifth of the rounds ended with
+// none, and that counted as congestion: placements paused although all could serve.
 func TestMostlyFaultyFleetStillServes(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b", "c", "d")
 	for _, s := range d.balancer.servers.ready {
@@ -39,9 +39,9 @@
 			d.balancer.recordFault(s)
 		}
 	}
-	d.runUntil(d.now + time.Second)
+	d.runFor(time.Second)
 	for i := range 100 {
-		if _, at := placeRequest(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}); at == "" {
+		if _, server := d.placeRequest(fmt.Sprint("r", i), equalLoads(0.1, "a", "b", "c", "d")); server == "" {
 			t.Fatalf("request %d is held", i)
 		}
 	}
@@ -50,66 +50,65 @@
 		d.balancer.recordFault(worst)
 	}
 	if share := d.balancer.drawShare(&request{}, worst); share > 0.1 {
-		t.Errorf("the worst is left %.2f of its draws", share)
+		t.Errorf("the worst keeps %.2f of its draws", share)
 	}
 }
 
 func TestLevels(t *testing.T) {
 	tests := []struct {
-		usual, load float64
-		want        int
+		meanLoad, load float64
+		want           int
 	}{
 		{0.6, 0.2, 0}, {0.6, 0.5, 1}, {0.6, 0.61, 2}, {0.6, 0.95, 3},
 		{0.05, 0.14, 0}, {0.05, 0.29, 1}, // an idle fleet: nothing to even out
 		{1.2, 0.69, 1}, {1.2, 0.71, 2}, // a full one: nearly full never passes as low
 	}
 	for _, tt := range tests {
-		b := &Balancer{fleet: fleetEstimate{meanLoad: tt.usual}}
+		b := &Balancer{fleet: fleetEstimate{meanLoad: tt.meanLoad}}
 		if got := b.level(tt.load); got != tt.want {
-			t.Errorf("level of %.2f at usual %.2f is %d, want %d", tt.load, tt.usual, got, tt.want)
+			t.Errorf("level of %.2f at a mean of %.2f is %d, want %d", tt.load, tt.meanLoad, got, tt.want)
 		}
 	}
 }
 
-// x_0 = x_1 = 1: a low draw decides at once. x_l = d above: d draws, then the
-// least loaded of them.
+// x_0 = x_1 = 1: a low draw decides at once. x_l = d above: d draws, then the least loaded of
+// them.
 func TestThresholds(t *testing.T) {
 	loads := map[string]float64{"a": 0.71, "b": 0.715, "c": 0.705}
 	d := newDriver(t, testSettings(), "a", "b", "c")
 	for i := range 30 {
-		probes, at := placeRequest(d, fmt.Sprint("r", i), loads)
-		if probes > trials || at == "" {
-			t.Fatalf("placed on %q after %d probes, want at most %d", at, probes, trials)
+		probes, server := d.placeRequest(fmt.Sprint("r", i), loads)
+		if probes > trials || server == "" {
+			t.Fatalf("placed on %q after %d probes, want at most %d", server, probes, trials)
 		}
-		if probes == 3 && at != "c" {
-			t.Errorf("of three probed %s took it, want c, the least loaded", at)
+		if probes == 3 && server != "c" {
+			t.Errorf("of three probed %s took it, want c, the least loaded", server)
 		}
 	}
 }
 
 func TestDrawsAreUniform(t *testing.T) {
-	const n, each = 20, 500
+	const servers, perServer = 20, 500
 	var ids []string
-	for i := range n {
+	for i := range servers {
 		ids = append(ids, fmt.Sprint("s", i))
 	}
 	d := newDriver(t, testSettings(), ids...)
 	r := &request{class: d.balancer.classes["c"]}
 	counts := map[string]int{}
-	for range n * each {
+	for range servers * perServer {
 		counts[d.balancer.drawServer(r).ID]++
 	}
 	chi := 0.0
 	for _, id := range ids {
-		chi += math.Pow(float64(counts[id]-each), 2) / each
+		chi += math.Pow(float64(counts[id]-perServer), 2) / perServer
 	}
 	if chi > 43.8 { // 19 degrees of freedom, one in a thousand
-		t.Errorf("chi-square %.1f over %d servers: %v", chi, n, counts)
+		t.Errorf("chi-square %.1f over %d servers: %v", chi, servers, counts)
 	}
 }
 
-// The least of d noisy readings is mostly luck: in a full fleet it would
-// always seem to have room.
+// The least of d noisy readings is mostly luck: a full fleet would always seem to have capacity.
 func TestLuckyReadingDoesNotHideFullFleet(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
 	for range 40 {
@@ -120,13 +119,13 @@
 	if got := b.estimatedLoad(s); got < fullLoad {
 		t.Errorf("load %.2f, want at least %.2f", got, fullLoad)
 	}
-	s.reportedLoad = 0.1 // room beyond doubt
+	s.reportedLoad = 0.1 // capacity beyond doubt
 	if got := b.estimatedLoad(s); got >= fullLoad {
 		t.Errorf("load %.2f, want under %.2f", got, fullLoad)
 	}
 }
 
-// What is avoided is who drains and who has failed more than the others of late.
+// Avoided are the servers that drain and those that have failed more than the others of late.
 func TestAvoidedServers(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b", "c")
 	expect := func(n int, when string) {
@@ -136,14 +135,14 @@
 		}
 	}
 	expect(0, "at first")
-	silent := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
-	d.handle(silent)
+	timedOut := ProbeResult{Server: "a", Outcome: TimedOut, LoadReport: EmptyLoadReport}
+	d.handle(timedOut)
 	expect(0, "after one failure")
-	d.handle(silent)
+	d.handle(timedOut)
 	expect(1, "after two")
-	d.handle(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Draining}}})
+	d.updateList(ListDelta, ServerEntry{ID: "b", State: Draining})
 	expect(2, "while another drains")
-	d.handle(ListUpdate{Entries: []ServerEntry{{ID: "b", State: Gone}}})
+	d.updateList(ListDelta, ServerEntry{ID: "b", State: Gone})
 	expect(1, "when that is gone")
 	d.now += 30 * time.Second
 	d.handle(TimerFired{})
@@ -154,18 +153,20 @@
 func TestPlacesWhenAllProbesAreUnanswered(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b")
 	d.sendRequest("r")
-	if got := actionsOf[Attempt](d.runUntil(d.now + time.Second)); len(got) != 1 {
+	if got := actionsOf[Attempt](d.runFor(time.Second)); len(got) != 1 {
 		t.Errorf("%v, want one attempt", got)
 	}
 }
 
 // Without probes the last reports decide, as they came with outcomes.
 func TestLastReportsDecideWithoutProbes(t *testing.T) {
-	set := testSettings()
-	set.Limits.ProbesAllowed, set.LoadReporting, set.Connections.GroupAffinity = false, LoadReporting{InOutcomes: true}, true
-	d := newDriver(t, set, "a", "b", "c")
+	settings := testSettings()
+	settings.Limits.ProbesAllowed = false
+	settings.LoadReporting = LoadReporting{InOutcomes: true}
+	settings.Connections.GroupAffinity = true
+	d := newDriver(t, settings, "a", "b", "c")
 	d.handle(OpenConnection{Request: Request{ID: "o", Class: "c", Group: "g"}, Server: "a"})
-	for _, group := range []string{"", "g", "h"} { // a group's homes are not probed either
+	for _, group := range []string{"", "g", "h"} { // a group's servers are not probed either
 		got := d.handle(Request{ID: "r" + group, Class: "c", Group: group, Deadline: d.now + 2*time.Second})
 		if len(actionsOf[Probe](got)) != 0 || len(actionsOf[Attempt](got)) != 1 {
 			t.Errorf("group %q: %v, want an attempt without a probe", group, got)
--- a/balance/driver_test.go
+++ b/balance/driver_test.go
@@ -1,27 +1,39 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
 
 const ms = time.Millisecond
 
-// settings returns settings that tests change to their need.
+// testSettings returns settings that tests change to their need.
 func testSettings() Settings {
 	return Settings{
-		Instances:        1,
-		Tick:             ms,
-		Classes:          []Class{{Name: "c", LatencyObjective: 400 * ms, Deadline: 2 * time.Second, MessageLatencyObjective: 100 * ms}},
+		Instances: 1,
+		Tick:      ms,
+		Classes: []Class{{
+			Name:                    "c",
+			LatencyObjective:        400 * ms,
+			Deadline:                2 * time.Second,
+			MessageLatencyObjective: 100 * ms,
+		}},
 		SubscribeTimeout: 10 * time.Second,
-		Rules: Rules{AnswerGrace: 5 * ms, DrainGrace: time.Second, InitialCapacity: 0.2, SlowStartWindow: 20 * time.Second,
-			OverloadMultiple: 3, OverloadDuration: time.Second},
+		Rules: Rules{
+			AnswerGrace:      5 * ms,
+			DrainGrace:       time.Second,
+			InitialCapacity:  0.2,
+			SlowStartWindow:  20 * time.Second,
+			OverloadMultiple: 3,
+			OverloadDuration: time.Second,
+		},
 		Limits:        Limits{ProbesAllowed: true, SendRetryAfter: true, MaxAttempts: 3, MaxRetryAfter: time.Second},
 		LoadReporting: LoadReporting{InProbeResults: true},
 	}
 }
 
-// bench drives one Balancer: it keeps the clock and the pending timers.
+// driver drives one Balancer: it keeps the clock and the pending timers.
 type driver struct {
 	t        *testing.T
 	balancer *Balancer
@@ -34,9 +46,10 @@
 	token uint64
 }
 
-func newDriver(t *testing.T, set Settings, servers ...string) *driver {
+// newDriver returns a driver whose instance knows the given servers, all ready and warm.
+func newDriver(t *testing.T, settings Settings, servers ...string) *driver {
 	t.Helper()
-	b, err := New(1, set)
+	b, err := New(1, settings)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,10 +66,10 @@
 	return list
 }
 
-// tell hands over an event and returns the actions but for timers.
-func (d *driver) handle(ev Event) []Action {
+// handle hands over an event and returns the actions except timers.
+func (d *driver) handle(event Event) []Action {
 	var rest []Action
-	for _, a := range d.balancer.Handle(d.now, ev, nil) {
+	for _, a := range d.balancer.Handle(d.now, event, nil) {
 		if t, ok := a.(SetTimer); ok {
 			d.timers = append(d.timers, pendingTimer{d.now + t.Delay, t.Token})
 		} else {
@@ -74,13 +87,70 @@
 	return d.handle(Request{ID: id, Class: "c", Deadline: d.now + 2*time.Second})
 }
 
-func (d *driver) answerProbe(server string, x0 float64) []Action {
-	l := EmptyLoadReport
-	l.Utilization = x0
-	return d.handle(ProbeResult{Server: server, Outcome: OK, Latency: ms, LoadReport: l})
+// openConnections tells the instance of n connections that already stand at a server.
+func (d *driver) openConnections(n int, server string) {
+	for i := range n {
+		request := Request{ID: fmt.Sprint("o", i), Class: "c"}
+		d.handle(OpenConnection{Request: request, Server: server})
+	}
+}
+
+// endAttempt ends an attempt of request r without an answer.
+func (d *driver) endAttempt(attempt int, server string, outcome Outcome) []Action {
+	return d.handle(AttemptEnded{
+		ID: "r", Attempt: attempt, Server: server, Outcome: outcome, LoadReport: EmptyLoadReport})
+}
+
+// endConnection ends an established connection.
+func (d *driver) endConnection(id, server string, outcome Outcome) []Action {
+	return d.handle(AttemptEnded{ID: id, Server: server, Outcome: outcome, Final: true, LoadReport: EmptyLoadReport})
+}
+
+// answerProbe answers a probe with a load and nothing else.
+func (d *driver) answerProbe(server string, load float64) []Action {
+	return d.reportLoad(server, loadReport(load, -1))
+}
+
+// reportLoad answers a probe with a load report.
+func (d *driver) reportLoad(server string, report LoadReport) []Action {
+	return d.handle(ProbeResult{Server: server, Outcome: OK, Latency: ms, LoadReport: report})
+}
+
+// answerProbes answers the probe among the actions, and those that follow, all with one load,
+// and returns the actions that follow the last.
+func (d *driver) answerProbes(actions []Action, load float64) []Action {
+	return d.answerProbesBy(actions, func(string) float64 { return load })
+}
+
+// answerProbesBy is as answerProbes, with a load for each server.
+func (d *driver) answerProbesBy(actions []Action, loadOf func(server string) float64) []Action {
+	for {
+		probes := actionsOf[Probe](actions)
+		if len(probes) == 0 {
+			return actions
+		}
+		actions = d.answerProbe(probes[0].Server, loadOf(probes[0].Server))
+	}
 }
 
-// run lets time pass, firing timers in order, and returns the actions.
+// placeRequest lets a request draw with every probe answered by loads, and returns how many
+// probes it took and where the request went; "" if it was not placed.
+func (d *driver) placeRequest(id string, loads map[string]float64) (probes int, server string) {
+	actions := d.sendRequest(id)
+	for {
+		if attempts := actionsOf[Attempt](actions); len(attempts) > 0 {
+			return probes, attempts[0].Server
+		}
+		sent := actionsOf[Probe](actions)
+		if len(sent) == 0 {
+			return probes, ""
+		}
+		probes++
+		actions = d.answerProbe(sent[0].Server, loads[sent[0].Server])
+	}
+}
+
+// runUntil lets time pass, firing timers in order, and returns the actions.
 func (d *driver) runUntil(until time.Duration) []Action {
 	var all []Action
 	for {
@@ -101,7 +171,10 @@
 	}
 }
 
-// pick returns the actions of type T.
+// runFor is runUntil for a span of time.
+func (d *driver) runFor(span time.Duration) []Action { return d.runUntil(d.now + span) }
+
+// actionsOf returns the actions of type T.
 func actionsOf[T Action](actions []Action) []T {
 	var found []T
 	for _, a := range actions {
@@ -112,25 +185,18 @@
 	return found
 }
 
-// drawsUntilPlaced lets a request draw with every probe answered by loads, and
-// returns how many probes it took and where the request went.
-func placeRequest(d *driver, id string, loads map[string]float64) (int, string) {
-	actions, probes := d.sendRequest(id), 0
-	for {
-		if sent := actionsOf[Attempt](actions); len(sent) > 0 {
-			return probes, sent[0].Server
-		}
-		asked := actionsOf[Probe](actions)
-		if len(asked) == 0 {
-			return probes, ""
-		}
-		probes++
-		actions = d.answerProbe(asked[0].Server, loads[asked[0].Server])
-	}
+// loadReport returns a report of a load and a number of connections; negative for no number.
+func loadReport(load, inflight float64) LoadReport {
+	report := EmptyLoadReport
+	report.Utilization, report.Inflight = load, inflight
+	return report
 }
 
-func loadReport(x0, inflight float64) LoadReport {
-	l := EmptyLoadReport
-	l.Utilization, l.Inflight = x0, inflight
-	return l
+// equalLoads returns the same load for each server.
+func equalLoads(load float64, servers ...string) map[string]float64 {
+	loads := make(map[string]float64, len(servers))
+	for _, s := range servers {
+		loads[s] = load
+	}
+	return loads
 }
--- /dev/null
+++ b/balance/event_queue_test.go
@@ -0,0 +1,29 @@
+package balance
+
+import "time"
+
+// scheduledEvent is something that happens at a time.
+type scheduledEvent struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+// eventQueue is a heap of what is to come, in the order of time and then of scheduling.
+type eventQueue struct {
+	events       []scheduledEvent
+	lastSequence int
+}
+
+func (q *eventQueue) Len() int { return len(q.events) }
+func (q *eventQueue) Less(i, j int) bool {
+	a, b := q.events[i], q.events[j]
+	return a.at < b.at || a.at == b.at && a.sequence < b.sequence
+}
+func (q *eventQueue) Swap(i, j int) { q.events[i], q.events[j] = q.events[j], q.events[i] }
+func (q *eventQueue) Push(x any)    { q.events = append(q.events, x.(scheduledEvent)) }
+func (q *eventQueue) Pop() any {
+	last := q.events[len(q.events)-1]
+	q.events = q.events[:len(q.events)-1]
+	return last
+}
--- a/balance/placement_test.go
+++ b/balance/placement_test.go
@@ -7,48 +7,46 @@
 )
 
 func TestAttemptOutcomes(t *testing.T) {
+	const retried, rejected, failed = "retried", "rejected", "failed"
 	tests := []struct {
-		name   string
-		effect Idempotency
-		scope  KeyScope
-		ended  Outcome
-		want   string // "again", "refused", "failed"
+		name        string
+		idempotency Idempotency
+		scope       KeyScope
+		outcome     Outcome
+		want        string
 	}{
-		{"full", Idempotent, ScopeAll, AtCapacity, "again"},
-		{"connect failed", NonIdempotent, ScopeAll, ConnectFailed, "again"},
-		{"never sent", IdempotencyKeyed, ScopeCell, NotSent, "again"},
-		{"error, safe", Idempotent, ScopeAll, Errored, "again"},
-		{"error, keyed for all", IdempotencyKeyed, ScopeAll, Errored, "again"},
-		{"error, unsafe", NonIdempotent, ScopeAll, Errored, "failed"},
-		{"reset, safe", Idempotent, ScopeAll, Reset, "refused"},
-		{"reset, keyed for all", IdempotencyKeyed, ScopeAll, Reset, "refused"},
-		{"reset, keyed for a zone", IdempotencyKeyed, ScopeZone, Reset, "failed"},
-		{"time-out, safe", Idempotent, ScopeAll, TimedOut, "refused"},
-		{"time-out, unsafe", NonIdempotent, ScopeAll, TimedOut, "failed"},
+		{"full", Idempotent, ScopeAll, AtCapacity, retried},
+		{"connect failed", NonIdempotent, ScopeAll, ConnectFailed, retried},
+		{"never sent", IdempotencyKeyed, ScopeCell, NotSent, retried},
+		{"error, idempotent", Idempotent, ScopeAll, Errored, retried},
+		{"error, keyed for all", IdempotencyKeyed, ScopeAll, Errored, retried},
+		{"error, not idempotent", NonIdempotent, ScopeAll, Errored, failed},
+		{"reset, idempotent", Idempotent, ScopeAll, Reset, rejected},
+		{"reset, keyed for all", IdempotencyKeyed, ScopeAll, Reset, rejected},
+		{"reset, keyed for a zone", IdempotencyKeyed, ScopeZone, Reset, failed},
+		{"time-out, idempotent", Idempotent, ScopeAll, TimedOut, rejected},
+		{"time-out, not idempotent", NonIdempotent, ScopeAll, TimedOut, failed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			set := testSettings()
-			set.Classes[0].Idempotency, set.Classes[0].KeyScope, set.Classes[0].KeyWindow = tt.effect, tt.scope, time.Second
-			d := newDriver(t, set, "a", "b", "c")
-			loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
-			_, at := placeRequest(d, "r", loads)
-			got := d.handle(AttemptEnded{ID: "r", Server: at, Outcome: tt.ended, LoadReport: EmptyLoadReport})
+			settings := testSettings()
+			class := &settings.Classes[0]
+			class.Idempotency, class.KeyScope, class.KeyWindow = tt.idempotency, tt.scope, time.Second
+			d := newDriver(t, settings, "a", "b", "c")
+			_, server := d.placeRequest("r", equalLoads(0.1, "a", "b", "c"))
+			actions := d.endAttempt(0, server, tt.outcome)
+			probes := actionsOf[Probe](actions)
+			got := ""
 			switch {
-			case len(actionsOf[Reject](got)) == 1:
-				if tt.want != "refused" {
-					t.Errorf("refused, want %s", tt.want)
-				}
-			case len(actionsOf[Fail](got)) == 1:
-				if tt.want != "failed" {
-					t.Errorf("failed, want %s", tt.want)
-				}
-			case len(actionsOf[Probe](got)) == 1:
-				if p := actionsOf[Probe](got)[0]; tt.want != "again" || p.Server == at {
-					t.Errorf("drew %s after %s, want %s", p.Server, at, tt.want)
-				}
-			default:
-				t.Errorf("got %v, want %s", got, tt.want)
+			case len(actionsOf[Reject](actions)) == 1:
+				got = rejected
+			case len(actionsOf[Fail](actions)) == 1:
+				got = failed
+			case len(probes) == 1 && probes[0].Server != server:
+				got = retried
+			}
+			if got != tt.want {
+				t.Errorf("after %s: %v, want %s", server, actions, tt.want)
 			}
 		})
 	}
@@ -56,173 +54,172 @@
 
 func TestDrainingServerGetsNoAttempt(t *testing.T) {
 	d := newDriver(t, testSettings(), "a", "b")
-	d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
-	actions := d.sendRequest("r")
-	asked := actionsOf[Probe](actions)[0].Server
-	// the server drains while its answer is on the way
-	d.updateList(ListDelta, ServerEntry{ID: asked, State: Draining})
-	if got := actionsOf[Attempt](d.answerProbe(asked, 0.1)); len(got) != 0 {
+	loads := equalLoads(0.1, "a", "b")
+	d.openConnections(1, "a")
+	probed := actionsOf[Probe](d.sendRequest("r"))[0].Server
+	// The server drains while its report is on the way.
+	d.updateList(ListDelta, ServerEntry{ID: probed, State: Draining})
+	if got := actionsOf[Attempt](d.answerProbe(probed, 0.1)); len(got) != 0 {
 		t.Errorf("sent to %s, which drains", got[0].Server)
 	}
 	for i := range 20 {
-		if _, at := placeRequest(d, fmt.Sprint("r", i), map[string]float64{"a": 0.1, "b": 0.1}); at == asked {
-			t.Fatalf("sent to %s, which drains", at)
+		if _, server := d.placeRequest(fmt.Sprint("r", i), loads); server == probed {
+			t.Fatalf("sent to %s, which drains", server)
 		}
 	}
-	d.updateList(ListFull, ServerEntry{ID: asked}) // ready again, the other one not named: gone
+	d.updateList(ListFull, ServerEntry{ID: probed}) // ready again, the other one not named: gone
 	for i := range 20 {
-		if _, at := placeRequest(d, fmt.Sprint("q", i), map[string]float64{"a": 0.1, "b": 0.1}); at != "" && at != asked {
-			t.Fatalf("sent to %s, which the whole list no longer names", at)
+		if _, server := d.placeRequest(fmt.Sprint("q", i), loads); server != "" && server != probed {
+			t.Fatalf("sent to %s, which the complete list no longer names", server)
 		}
 	}
 }
 
 func TestAttemptsAreLimited(t *testing.T) {
-	for most := range 4 {
-		set := testSettings()
-		set.Limits.MaxAttempts = most // 0 means 1
-		d := newDriver(t, set, "a", "b", "c", "d", "e")
+	for maxAttempts := range 4 {
+		settings := testSettings()
+		settings.Limits.MaxAttempts = maxAttempts // 0 means 1
+		d := newDriver(t, settings, "a", "b", "c", "d", "e")
 		attempts, actions := 0, d.sendRequest("r")
 		for len(actionsOf[Reject](actions)) == 0 && attempts < 9 {
-			for len(actionsOf[Probe](actions)) > 0 {
-				actions = d.answerProbe(actionsOf[Probe](actions)[0].Server, 0.1)
-			}
+			actions = d.answerProbes(actions, 0.1)
 			for _, a := range actionsOf[Attempt](actions) {
 				attempts++
-				actions = d.handle(AttemptEnded{ID: "r", Attempt: attempts - 1, Server: a.Server, Outcome: AtCapacity, LoadReport: EmptyLoadReport})
+				actions = d.endAttempt(attempts-1, a.Server, AtCapacity)
 			}
 			if len(actions) == 0 {
-				actions = d.runUntil(d.now + 100*ms)
+				actions = d.runFor(100 * ms)
 			}
 		}
-		if want := max(most, 1); attempts != want {
+		if want := max(maxAttempts, 1); attempts != want {
 			t.Errorf("%d attempts where %d are allowed", attempts, want)
 		}
 	}
 }
 
-// A second end of one attempt had the request wait twice for its turn: it drew twice
-// at once, and was sent twice.
+// A second end of one attempt had the request wait twice for admission: it drew twice at once, and
+// was sent twice.
 func TestDuplicateAttemptEndIsIgnored(t *testing.T) {
-	for _, o := range []Outcome{AtCapacity, ConnectFailed, Errored, Reset} {
+	for _, outcome := range []Outcome{AtCapacity, ConnectFailed, Errored, Reset} {
 		d := newDriver(t, testSettings(), "a", "b", "c", "d")
-		_, at := placeRequest(d, "r", map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1})
-		end := AttemptEnded{ID: "r", Server: at, Outcome: AtCapacity, LoadReport: EmptyLoadReport}
-		actions := d.handle(end)
-		end.Outcome = o
-		actions = append(actions, d.handle(end)...)
-		sent, answers := 0, len(actionsOf[Reject](actions))
+		_, server := d.placeRequest("r", equalLoads(0.1, "a", "b", "c", "d"))
+		actions := d.endAttempt(0, server, AtCapacity)
+		actions = append(actions, d.endAttempt(0, server, outcome)...)
+		attempts, answers := 0, len(actionsOf[Reject](actions))
 		for _, p := range actionsOf[Probe](actions) {
-			sent += len(actionsOf[Attempt](d.answerProbe(p.Server, 0.1)))
+			attempts += len(actionsOf[Attempt](d.answerProbe(p.Server, 0.1)))
 		}
-		if sent != 1 || answers != 0 {
-			t.Errorf("%d more attempts and %d answers after a second end, want 1 and 0", sent, answers)
+		if attempts != 1 || answers != 0 {
+			t.Errorf("%d more attempts and %d answers after a second end, want 1 and 0", attempts, answers)
 		}
 	}
 }
 
-// To give up is to answer now. Requests that no ready server may be sent waited for
-// their deadline all the same.
-func TestUnplaceableRequestIsRejectedAtOnce(t *testing.T) {
+// unplaceableCase is how a request comes to be one that no ready server may be sent.
+type unplaceableCase struct {
+	name string
+	set  func(*Settings) // nil: one server, else three
+	play func(d *driver) []Action
+}
+
+func unplaceableCases() []unplaceableCase {
 	keyed := func(s *Settings) { s.Classes[0].Idempotency, s.Classes[0].KeyWindow = IdempotencyKeyed, 100*ms }
-	tests := []struct {
-		name string
-		set  func(*Settings)
-		play func(d *driver) []Action
-	}{
-		{"nobody is ready", nil, func(d *driver) []Action {
-			d.updateList(ListFull, ServerEntry{ID: "a", State: Draining})
+	onlyServerDrains := func(d *driver) []Action {
+		return d.updateList(ListFull, ServerEntry{ID: "a", State: Draining})
+	}
+	return []unplaceableCase{
+		{"no server is ready", nil, func(d *driver) []Action {
+			onlyServerDrains(d)
 			return d.sendRequest("r")
 		}},
 		{"the last one leaves while it is probed", nil, func(d *driver) []Action {
 			d.sendRequest("r")
-			return d.updateList(ListFull, ServerEntry{ID: "a", State: Draining})
+			return onlyServerDrains(d)
 		}},
 		{"the last one leaves while it waits", nil, func(d *driver) []Action {
 			d.balancer.reduceWindow()
 			d.sendRequest("r")
-			return d.updateList(ListFull, ServerEntry{ID: "a", State: Draining})
+			return onlyServerDrains(d)
 		}},
 		{"all were tried", func(s *Settings) { s.Limits.MaxAttempts = 9 }, func(d *driver) []Action {
 			actions := d.sendRequest("r")
 			for i := range 3 {
-				for len(actionsOf[Probe](actions)) > 0 {
-					actions = d.answerProbe(actionsOf[Probe](actions)[0].Server, 0.1)
-				}
+				actions = d.answerProbes(actions, 0.1)
 				for _, a := range actionsOf[Attempt](actions) {
-					actions = d.handle(AttemptEnded{ID: "r", Attempt: i, Server: a.Server, Outcome: AtCapacity, LoadReport: EmptyLoadReport})
+					actions = d.endAttempt(i, a.Server, AtCapacity)
 				}
 			}
 			return actions
 		}},
-		{"its repeats' window ends while it waits", keyed, func(d *driver) []Action {
-			d.answerProbe(actionsOf[Probe](d.sendRequest("r"))[0].Server, 0.1)
+		{"its key window ends while it waits", keyed, func(d *driver) []Action {
+			d.answerProbes(d.sendRequest("r"), 0.1)
 			d.balancer.reduceWindow()
 			d.balancer.admission.backoffEndsAt = d.now + time.Second
-			d.handle(AttemptEnded{ID: "r", Server: "a", Outcome: Errored, LoadReport: EmptyLoadReport})
-			return d.runUntil(d.now + 102*ms)
+			d.endAttempt(0, "a", Errored)
+			return d.runFor(102 * ms)
 		}},
-		{"its repeats' window ends while it is probed", keyed, func(d *driver) []Action {
-			d.answerProbe(actionsOf[Probe](d.sendRequest("r"))[0].Server, 0.1)
+		{"its key window ends while it is probed", keyed, func(d *driver) []Action {
+			d.answerProbes(d.sendRequest("r"), 0.1)
 			d.now += 90 * ms
-			asked := actionsOf[Probe](d.handle(AttemptEnded{ID: "r", Server: d.balancer.requests.byID["r"].server.ID, Outcome: Errored, LoadReport: EmptyLoadReport}))
+			probes := actionsOf[Probe](d.endAttempt(0, d.balancer.requests.byID["r"].server.ID, Errored))
 			d.now += 20 * ms
-			return d.answerProbe(asked[0].Server, 0.1)
+			return d.answerProbe(probes[0].Server, 0.1)
 		}},
 	}
-	for _, tt := range tests {
+}
+
+// Requests that no ready server may be sent waited for their deadline all the same.
+func TestUnplaceableRequestIsRejectedAtOnce(t *testing.T) {
+	for _, tt := range unplaceableCases() {
 		t.Run(tt.name, func(t *testing.T) {
-			set := testSettings()
+			settings := testSettings()
 			if tt.set != nil {
-				tt.set(&set)
+				tt.set(&settings)
 			}
-			d := newDriver(t, set, "a", "b", "c")
+			d := newDriver(t, settings, "a", "b", "c")
 			if tt.set == nil {
 				d.updateList(ListFull, readyEntries("a")...)
 			}
 			got := tt.play(d)
-			if refused := actionsOf[Reject](got); len(refused) != 1 || refused[0].RetryAfter == 0 || len(actionsOf[Attempt](got)) != 0 {
-				t.Errorf("got %v, want one refusal that says when to return", got)
+			rejected := actionsOf[Reject](got)
+			if len(rejected) != 1 || rejected[0].RetryAfter == 0 || len(actionsOf[Attempt](got)) != 0 {
+				t.Errorf("got %v, want one rejection with a Retry-After", got)
 			}
 		})
 	}
 }
 
-// How long repeats are dropped counts from the first attempt that may have run, and
-// that may have been at once. Counted from the latest end, a third came too late.
+// The key window counts from the first attempt that may have run, and that may have been at once.
+// Counted from the latest end, a third attempt came too late.
 func TestKeyWindowCountsFromFirstAttempt(t *testing.T) {
-	set := testSettings()
-	set.Classes[0].Idempotency, set.Classes[0].KeyWindow = IdempotencyKeyed, 100*ms
-	d := newDriver(t, set, "a", "b", "c")
-	loads := map[string]float64{"a": 0.1, "b": 0.1, "c": 0.1}
-	_, at := placeRequest(d, "r", loads)
+	settings := testSettings()
+	settings.Classes[0].Idempotency, settings.Classes[0].KeyWindow = IdempotencyKeyed, 100*ms
+	d := newDriver(t, settings, "a", "b", "c")
+	_, server := d.placeRequest("r", equalLoads(0.1, "a", "b", "c"))
 	var got []Action
 	for i := range 2 {
 		d.now += 60 * ms
-		got = d.handle(AttemptEnded{ID: "r", Attempt: i, Server: at, Outcome: Errored, LoadReport: EmptyLoadReport})
-		for len(actionsOf[Probe](got)) > 0 {
-			got = d.answerProbe(actionsOf[Probe](got)[0].Server, 0.1)
-		}
-		if sent := actionsOf[Attempt](got); len(sent) > 0 {
-			at = sent[0].Server
+		got = d.answerProbes(d.endAttempt(i, server, Errored), 0.1)
+		if attempts := actionsOf[Attempt](got); len(attempts) > 0 {
+			server = attempts[0].Server
 		}
 	}
 	if len(actionsOf[Reject](got)) != 1 {
-		t.Errorf("120 ms after it may first have run: %v, want a refusal", got)
+		t.Errorf("120 ms after it may first have run: %v, want a rejection", got)
 	}
 }
 
-// A client waits no longer than its class's deadline in all: the pause that it is asked for
-// leaves it time to come again, whatever the greatest pause of the deployment is.
+// A client waits no longer than its class's deadline in all: the pause that it is asked for leaves
+// it time to come again, whatever the greatest pause of the deployment is.
 func TestRetryAfterIsWithinDeadline(t *testing.T) {
-	set := testSettings()
-	set.Limits.MaxRetryAfter, set.Classes[0].Deadline = 10*time.Second, 600*ms
-	d := newDriver(t, set)
-	d.updateList(ListFull) // nobody to go to: refused at once
+	settings := testSettings()
+	settings.Limits.MaxRetryAfter, settings.Classes[0].Deadline = 10*time.Second, 600*ms
+	d := newDriver(t, settings)
+	d.updateList(ListFull) // no server: rejected at once
 	for i := range 100 {
 		got := actionsOf[Reject](d.sendRequest(fmt.Sprint("r", i)))
 		if len(got) != 1 || got[0].RetryAfter <= 0 || got[0].RetryAfter > 300*ms {
-			t.Fatalf("refused with %v", got)
+			t.Fatalf("rejected with %v", got)
 		}
 	}
 }
--- a/balance/probe_test.go
+++ b/balance/probe_test.go
@@ -7,175 +7,193 @@
 	"time"
 )
 
-// A class that names no aim left its probes no time at all: every server was passed over
-// before it could answer, and the draws told nothing.
+// A class without a latency objective left its probes no time at all: every server was passed over
+// before it could answer, and the draws said nothing.
 func TestProbeTimeoutWithoutLatencyObjective(t *testing.T) {
-	set := testSettings()
-	set.Classes[0].LatencyObjective = 0
-	d := newDriver(t, set, "a", "b")
-	asked := actionsOf[Probe](d.sendRequest("r"))
-	if got := d.runUntil(d.now + 5*ms); len(got) != 0 {
-		t.Errorf("after 5 ms: %v, want to wait for %s", got, asked[0].Server)
+	settings := testSettings()
+	settings.Classes[0].LatencyObjective = 0
+	d := newDriver(t, settings, "a", "b")
+	probes := actionsOf[Probe](d.sendRequest("r"))
+	if got := d.runFor(5 * ms); len(got) != 0 {
+		t.Errorf("after 5 ms: %v, want to wait for %s", got, probes[0].Server)
 	}
-	if got := actionsOf[Attempt](d.answerProbe(asked[0].Server, 0.1)); len(got) != 1 {
+	if got := actionsOf[Attempt](d.answerProbe(probes[0].Server, 0.1)); len(got) != 1 {
 		t.Errorf("placed by its answer: %v, want one attempt", got)
 	}
 }
 
-// A load counter that has wrapped was cut into a level below 0, as the whole number
-// overflowed, and its server passed as low. What is no number poisoned the usual load
-// and the load of one connection for good.
+// A load counter that has wrapped was cut into a level below 0, as the whole number overflowed, and
+// its server passed as low. What is no number spoiled the mean load and the load of one
+// connection for good.
 func TestImplausibleReportsAreIgnored(t *testing.T) {
-	inf, nan := math.Inf(1), math.NaN()
-	for _, l := range []LoadReport{loadReport(nan, 5), loadReport(inf, 5), loadReport(18446744073709551615, 5), loadReport(1e300, 5),
-		loadReport(inf, inf), loadReport(0.3, nan), loadReport(0.3, inf), loadReport(0.3, 18446744073709551615),
-		loadReport(-0.3, 5), loadReport(math.Inf(-1), 5), loadReport(0.3, -1)} {
-		t.Run(fmt.Sprint(l.Utilization, " with ", l.Inflight), func(t *testing.T) {
+	inf, nan, wrapped := math.Inf(1), math.NaN(), 18446744073709551615.0
+	for _, report := range []LoadReport{
+		loadReport(nan, 5),
+		loadReport(inf, 5),
+		loadReport(wrapped, 5),
+		loadReport(1e300, 5),
+		loadReport(inf, inf),
+		loadReport(0.3, nan),
+		loadReport(0.3, inf),
+		loadReport(0.3, wrapped),
+		loadReport(-0.3, 5),
+		loadReport(math.Inf(-1), 5),
+		loadReport(0.3, -1),
+	} {
+		t.Run(fmt.Sprint(report.Utilization, " with ", report.Inflight), func(t *testing.T) {
 			d := newDriver(t, testSettings(), "a", "b")
-			tell := func(s string, l LoadReport) []Action {
-				return d.handle(ProbeResult{Server: s, Outcome: OK, Latency: ms, LoadReport: l})
-			}
+			b := d.balancer
 			for i := range 20 {
 				d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "b"})
-				tell("a", loadReport(0.5, 20))
-				tell("b", loadReport(0.5, 20))
+				d.reportLoad("a", loadReport(0.5, 20))
+				d.reportLoad("b", loadReport(0.5, 20))
 			}
-			usual := d.balancer.fleet.meanLoad
-			tell("a", l)
-			if got := d.balancer.fleet.meanLoad; !(math.Abs(got-usual) < 0.2) {
-				t.Errorf("the usual load went from %.2f to %.2f", usual, got)
+			before := b.fleet.meanLoad
+			d.reportLoad("a", report)
+			if got := b.fleet.meanLoad; !(math.Abs(got-before) < 0.2) {
+				t.Errorf("the mean load went from %.2f to %.2f", before, got)
 			}
-			if believed := l.Utilization >= 0 && l.Utilization < 1; !believed {
-				asked, actions := "", d.sendRequest("r")
-				for asked != "a" && len(actionsOf[Probe](actions)) > 0 { // let it be drawn
-					if asked = actionsOf[Probe](actions)[0].Server; asked == "a" {
-						actions = tell("a", l)
-					} else {
-						actions = tell("b", loadReport(0.95, 20))
-					}
-				}
-				if got := actionsOf[Attempt](actions); asked == "a" && len(got) == 1 && got[0].Server == "a" && l.Utilization > 1 {
-					t.Error("passed as low")
-				}
+			if believed := report.Utilization >= 0 && report.Utilization < 1; !believed {
+				expectNotLow(t, d, report)
 			}
-			if w := d.balancer.estimateAddedLoad(d.balancer.trackRequest(Request{ID: "w", Class: "c"}), d.balancer.servers.byID["a"]); !(w > 0.001) || w > 0.25 {
-				t.Errorf("a connection weighs %v there", w)
+			a := b.servers.byID["a"]
+			added := b.estimateAddedLoad(b.trackRequest(Request{ID: "w", Class: "c"}), a)
+			if !(added > 0.001) || added > 0.25 {
+				t.Errorf("a connection adds %v there", added)
 			}
-			tell("a", loadReport(0.5, 20))
-			if got := d.balancer.estimatedLoad(d.balancer.servers.byID["a"]); !(math.Abs(got-0.5) < 0.2) {
-				t.Errorf("load %v after a sound report of 0.5", got)
+			d.reportLoad("a", loadReport(0.5, 20))
+			if got := b.estimatedLoad(a); !(math.Abs(got-0.5) < 0.2) {
+				t.Errorf("load %v after a plausible report of 0.5", got)
 			}
 		})
 	}
 }
 
-// One client's hint of 1e300 became the mean, and for thousands of requests no other
-// connection weighed anything: what was placed did not show.
+// expectNotLow draws until a is probed and answers with the report, which must not place the request
+// there if it says more than full.
+func expectNotLow(t *testing.T, d *driver, report LoadReport) {
+	t.Helper()
+	actions := d.sendRequest("r")
+	for len(actionsOf[Probe](actions)) > 0 {
+		if actionsOf[Probe](actions)[0].Server != "a" {
+			actions = d.reportLoad("b", loadReport(0.95, 20))
+			continue
+		}
+		attempts := actionsOf[Attempt](d.reportLoad("a", report))
+		if len(attempts) == 1 && attempts[0].Server == "a" && report.Utilization > 1 {
+			t.Error("passed as low")
+		}
+		return
+	}
+}
+
+// One client's hint of 1e300 became the mean, and for thousands of requests no other connection
+// added anything: what was placed did not show.
 func TestOneHugeLoadHint(t *testing.T) {
 	for _, huge := range []float64{1e300, math.Inf(1), 1e18, math.NaN(), -1, 0} {
 		t.Run(fmt.Sprint(huge), func(t *testing.T) {
 			d := newDriver(t, testSettings(), "a")
-			hinted := func(id string, hint float64) float64 {
+			addedLoad := func(id string, hint float64) float64 {
 				d.handle(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-				d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
-				w := d.balancer.estimateAddedLoad(d.balancer.requests.byID[id], d.balancer.servers.byID["a"])
+				d.reportLoad("a", loadReport(0.4, 40))
+				load := d.balancer.estimateAddedLoad(d.balancer.requests.byID[id], d.balancer.servers.byID["a"])
 				d.handle(ClientGone{ID: id})
-				return w
+				return load
 			}
-			usual := 0.0
+			before := 0.0
 			for i := range 100 {
-				usual = hinted(fmt.Sprint("r", i), 0.5)
+				before = addedLoad(fmt.Sprint("r", i), 0.5)
 			}
-			if w := hinted("huge", huge); !(w > 0) || w > 0.25 {
-				t.Errorf("it weighs %v", w)
+			if load := addedLoad("huge", huge); !(load > 0) || load > 0.25 {
+				t.Errorf("it adds %v", load)
 			}
-			if w := hinted("q", 0.5); !(w > usual/2) || w > 2*usual {
-				t.Errorf("another weighs %v after it, %v before", w, usual)
+			if load := addedLoad("q", 0.5); !(load > before/2) || load > 2*before {
+				t.Errorf("another adds %v after it, %v before", load, before)
 			}
 		})
 	}
 }
 
-// Where it came first it was the mean itself, and the others still weighed nothing.
+// Where it came first it was the mean itself, and the others still added nothing.
 func TestFirstLoadHintIsHuge(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
-	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.4, 40)})
+	d.reportLoad("a", loadReport(0.4, 40))
 	for i, hint := range []float64{1e9, 0.5, 0.5, 0.5} {
-		d.handle(Request{ID: fmt.Sprint("r", i), Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
-		if w := d.balancer.estimateAddedLoad(d.balancer.requests.byID[fmt.Sprint("r", i)], d.balancer.servers.byID["a"]); w < 0.0006 {
-			t.Errorf("hint %v weighs %v, want a sixteenth of 0.01 at least", hint, w)
+		id := fmt.Sprint("r", i)
+		d.handle(Request{ID: id, Class: "c", LoadHint: hint, Deadline: d.now + time.Second})
+		load := d.balancer.estimateAddedLoad(d.balancer.requests.byID[id], d.balancer.servers.byID["a"])
+		if load < 0.0006 {
+			t.Errorf("hint %v adds %v, want a sixteenth of 0.01 at least", hint, load)
 		}
 	}
 }
 
-// The first hint after a hundred connections without one counted 1/64 of itself as
-// the mean, and its connection weighed 64 times what it should.
+// The first hint after a hundred connections without one counted 1/64 of itself as the mean, and
+// its connection added 64 times what it should.
 func TestFirstLoadHintAfterManyWithout(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
-	for i := range 100 {
-		d.handle(OpenConnection{Request: Request{ID: fmt.Sprint("o", i), Class: "c"}, Server: "a"})
-	}
-	d.runUntil(d.now + 20*time.Second)
+	d.openConnections(100, "a")
+	d.runFor(20 * time.Second)
 	d.answerProbe("a", 0.5)
-	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: loadReport(0.5, 100)})
+	d.reportLoad("a", loadReport(0.5, 100))
 	d.handle(Request{ID: "r", Class: "c", LoadHint: 7, Deadline: d.now + time.Second})
-	if w := d.balancer.estimateAddedLoad(d.balancer.requests.byID["r"], d.balancer.servers.byID["a"]); w > 0.01 {
-		t.Errorf("weighs %.3f, want about 0.005 as all others", w)
+	load := d.balancer.estimateAddedLoad(d.balancer.requests.byID["r"], d.balancer.servers.byID["a"])
+	if load > 0.01 {
+		t.Errorf("adds %.3f, want about 0.005 as all others", load)
 	}
 }
 
-// A server that was overfull when its connections were taken over is looked at
-// once, although no request draws it and no note tells of it.
-// A full server serves nobody in time, but one below its capacity serves all: up
-// to nine tenths callers stay where they are, and new ones are placed up to 0.85.
+// A full server serves nobody in time, but one below its capacity serves all: up to nine tenths
+// connections stay where they are, and new ones are placed up to 0.85.
 func TestBusyServerIsNotFull(t *testing.T) {
 	for load, want := range map[float64]bool{0.8: true, 0.9: false} {
 		d := newDriver(t, testSettings(), "a")
-		d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
+		d.openConnections(1, "a")
 		if got := d.answerProbe("a", load); len(actionsOf[Migrate](got)) != 0 {
-			t.Errorf("moved at load %.2f", load)
+			t.Errorf("migrated at load %.2f", load)
 		}
-		if _, at := placeRequest(d, "r", map[string]float64{"a": load}); (at != "") != want {
-			t.Errorf("placed %v at load %.2f, want %v", at != "", load, want)
+		if _, server := d.placeRequest("r", equalLoads(load, "a")); (server != "") != want {
+			t.Errorf("placed %v at load %.2f, want %v", server != "", load, want)
 		}
 	}
 }
 
-// A server may be slow with cores to spare, as a noisy neighbour takes them. Where a
-// message takes longer than its aim, it serves nobody, and counts as full.
+// A server may be slow with cores to spare, as a noisy neighbour takes them. Where a message takes
+// longer than its latency objective, it serves nobody, and counts as full.
 func TestSlowServerCountsAsFull(t *testing.T) {
-	for latency, want := range map[float64]bool{20: true, 300: false} {
+	for latencyMillis, want := range map[float64]bool{20: true, 300: false} {
 		d := newDriver(t, testSettings(), "a")
-		d.handle(OpenConnection{Request: Request{ID: "o", Class: "c"}, Server: "a"})
-		l := EmptyLoadReport
-		l.Utilization, l.LatencyMillis = 0.4, latency
+		d.openConnections(1, "a")
 		d.sendRequest("r")
-		got := d.handle(ProbeResult{Server: "a", Latency: ms, LoadReport: l})
+		report := loadReport(0.4, -1)
+		report.LatencyMillis = latencyMillis
+		got := d.reportLoad("a", report)
 		if sent := len(actionsOf[Attempt](got)) > 0; sent != want {
-			t.Errorf("sent there with a service time of %v ms: %v, want %v", latency, sent, want)
+			t.Errorf("sent there with a service time of %v ms: %v, want %v", latencyMillis, sent, want)
 		}
 	}
 }
 
-// What was refused weighed on its server for a second all the same, as if it had been
+// What was refused counted as load of its server for a second all the same, as if it had been
 // placed: a server that could serve the next looked fuller with each.
 func TestFailedAttemptReleasesPlacedLoad(t *testing.T) {
 	d := newDriver(t, testSettings(), "a")
-	l := loadReport(0.4, 8)
-	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	before := d.balancer.estimatedLoad(d.balancer.servers.byID["a"])
+	report := loadReport(0.4, 8)
+	d.reportLoad("a", report)
+	a := d.balancer.servers.byID["a"]
+	before := d.balancer.estimatedLoad(a)
 	for i := range 5 {
 		id := string(rune('a' + i))
 		d.sendRequest(id)
-		if sent := actionsOf[Attempt](d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})); len(sent) != 1 {
+		if attempts := actionsOf[Attempt](d.reportLoad("a", report)); len(attempts) != 1 {
 			t.Fatalf("request %d was not sent", i)
 		}
 		d.now += 20 * ms
 		d.handle(AttemptEnded{ID: id, Server: "a", Outcome: ConnectFailed, LoadReport: EmptyLoadReport})
-		d.runUntil(d.now + time.Second/4)
+		d.runFor(time.Second / 4)
 	}
-	d.handle(ProbeResult{Server: "a", Outcome: OK, Latency: ms, LoadReport: l})
-	if got := d.balancer.estimatedLoad(d.balancer.servers.byID["a"]); got > before+0.01 {
+	d.reportLoad("a", report)
+	if got := d.balancer.estimatedLoad(a); got > before+0.01 {
 		t.Errorf("load %.3f after five that failed, %.3f before", got, before)
 	}
 }
