Command simadapter: reads from top to bottom, its end and errors are documented

run reads and writes, answer replies to a batch, newBalancer makes an instance. The bytes on the simulator's wire are the same. go test ./cmd/simadapter ./internal/simproto passed.

--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -1,6 +1,11 @@
-// Command simadapter hosts instances of the balancer on the simulator's wire: it
-// reads batches of events from standard input and writes the actions to
-// standard output.
+// Command simadapter runs instances of the decision module for the simulator: it reads batches of
+// events from standard input and writes the actions to standard output, in the protocol of package
+// simproto.
+//
+// It has one goroutine and ends with its input, with exit code 0. An error of the protocol, or an
+// event for an instance that was never started, ends it with exit code 1 and a line on standard
+// error. Settings that an instance can't work with, and a panic in an instance, are answered by an
+// error line for that instance alone.
 package main
 
 import (
@@ -15,43 +20,43 @@
 	"coralrelay/internal/simproto"
 )
 
+// gcPercent lets the heap, which is small and short-lived, grow further between two collections:
+// fewer of them leave the CPU to decisions.
+const gcPercent = 400
+
 func main() {
-	// The heap is small and short-lived; fewer collections leave the CPU to decisions.
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(gcPercent)
 	if err := run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "simadapter:", err)
 		os.Exit(1)
 	}
 }
 
-// host keeps the instances of this process. A stopped instance stays as nil,
-// so that what was in flight for it is told from an instance never started.
+// adapter keeps the instances of this process. A stopped instance stays as nil: events that were
+// in flight for it are ignored, while one for an instance that was never started is an error.
 type adapter struct {
 	instances map[int]*balance.Balancer
-	actions   []balance.Action
-	reply     []byte
+	actions   []balance.Action // of one event; reused
+	reply     []byte           // to one batch; reused
 }
 
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	reader, writer := simproto.NewReader(in), bufio.NewWriter(out)
-	h := adapter{instances: map[int]*balance.Balancer{}}
+	a := adapter{instances: map[int]*balance.Balancer{}}
 	var batch simproto.Batch
 	for {
-		switch err := reader.Read(&batch); {
-		case errors.Is(err, io.EOF):
+		err := reader.Read(&batch)
+		if errors.Is(err, io.EOF) {
 			return nil
-		case err != nil:
+		}
+		if err != nil {
 			return err
 		}
-		h.reply = h.reply[:0]
-		for i := range batch.Deliveries {
-			if err := h.deliver(&batch, &batch.Deliveries[i]); err != nil {
-				return err
-			}
+		if err := a.answer(&batch); err != nil {
+			return err
 		}
-		h.reply = simproto.AppendDone(h.reply, batch.Round)
-		if _, err := writer.Write(h.reply); err != nil {
+		if _, err := writer.Write(a.reply); err != nil {
 			return err
 		}
 		if err := writer.Flush(); err != nil {
@@ -60,51 +65,68 @@
 	}
 }
 
-// deliver hands one delivery to its instance and appends what it answers.
-func (h *adapter) deliver(batch *simproto.Batch, d *simproto.Delivery) error {
+// answer writes the reply to a batch: the actions of its deliveries in order, and its end.
+func (a *adapter) answer(batch *simproto.Batch) error {
+	a.reply = a.reply[:0]
+	for i := range batch.Deliveries {
+		if err := a.deliver(batch, &batch.Deliveries[i]); err != nil {
+			return err
+		}
+	}
+	a.reply = simproto.AppendDone(a.reply, batch.Round)
+	return nil
+}
+
+// deliver hands one delivery to its instance and appends the answer to the reply.
+func (a *adapter) deliver(batch *simproto.Batch, d *simproto.Delivery) error {
 	switch {
 	case d.Start != nil:
-		h.start(d)
+		a.start(d)
 		return nil
 	case d.Stop:
-		h.instances[d.Instance] = nil
+		a.instances[d.Instance] = nil
 		return nil
 	}
-	b, known := h.instances[d.Instance]
+	b, known := a.instances[d.Instance]
 	if !known {
 		return fmt.Errorf("batch %d: %s for instance %d, which was never started", batch.Round, d.Cmd, d.Instance)
 	}
 	if b == nil {
 		return nil
 	}
-	h.handle(batch, d, b)
+	a.handle(batch, d, b)
 	return nil
 }
 
-// start makes an instance. Settings that it can't work with are its fault line.
-func (h *adapter) start(d *simproto.Delivery) {
-	h.instances[d.Instance] = nil
-	err := d.Start.Err
-	if err == nil {
-		var b *balance.Balancer
-		if b, err = balance.New(d.Start.Seed, d.Start.Settings); err == nil {
-			h.instances[d.Instance] = b
-			return
-		}
+// start starts an instance, or appends an error line where it can't work with its settings.
+func (a *adapter) start(d *simproto.Delivery) {
+	a.instances[d.Instance] = nil
+	b, err := newBalancer(d.Start)
+	if err != nil {
+		a.reply = simproto.AppendError(a.reply, d.Instance, err.Error())
+		return
+	}
+	a.instances[d.Instance] = b
+}
+
+// newBalancer returns a Balancer for the settings of a start, if they could be read.
+func newBalancer(start *simproto.Start) (*balance.Balancer, error) {
+	if start.Err != nil {
+		return nil, start.Err
 	}
-	h.reply = simproto.AppendError(h.reply, d.Instance, err.Error())
+	return balance.New(start.Seed, start.Settings)
 }
 
-// handle runs one event; a panic becomes the instance's fault line.
-func (h *adapter) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
+// handle hands one event to an instance. A panic becomes an error line for that instance.
+func (a *adapter) handle(batch *simproto.Batch, d *simproto.Delivery, b *balance.Balancer) {
 	defer func() {
 		if p := recover(); p != nil {
-			h.reply = simproto.AppendError(h.reply, d.Instance, fmt.Sprint(p))
+			a.reply = simproto.AppendError(a.reply, d.Instance, fmt.Sprint(p))
 			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
 		}
 	}()
-	h.actions = b.Handle(batch.Now, d.Event, h.actions[:0])
-	for _, a := range h.actions {
-		h.reply = simproto.AppendAction(h.reply, d.Instance, a)
+	a.actions = b.Handle(batch.Now, d.Event, a.actions[:0])
+	for _, action := range a.actions {
+		a.reply = simproto.AppendAction(a.reply, d.Instance, action)
 	}
 }
