--- a/balance/emit.go
+++ b/balance/emit.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -37,8 +38,8 @@
 			b.fleet.meanLoad, 100*b.admission.failureRate),
 		Message: "admission paused by congestion",
 		Attributes: []Attribute{
-			{"mean_load", b.fleet.meanLoad},
-			{"failure_rate", b.admission.failureRate},
+			{"mean_load", twoDecimals(b.fleet.meanLoad)},
+			{"failure_rate", twoDecimals(b.admission.failureRate)},
 		},
 	})
 }
@@ -54,13 +55,16 @@
 		Message: "connections migrated away from loaded server",
 		Attributes: []Attribute{
 			{"server", s.ID},
-			{"load", s.reportedLoad},
-			{"mean_load", b.fleet.meanLoad},
+			{"load", twoDecimals(s.reportedLoad)},
+			{"mean_load", twoDecimals(b.fleet.meanLoad)},
 			{"connections", len(s.connections)},
 		},
 	})
 }
 
+// twoDecimals rounds a value as people read it.
+func twoDecimals(x float64) float64 { return math.Round(x*100) / 100 }
+
 // claimLogLine reports whether a line may be logged now, and then starts the next logInterval.
 func (b *Balancer) claimLogLine() bool {
 	if b.now < b.nextLogAt {
