--- a/balance/admission.go
+++ b/balance/admission.go
@@ -15,8 +15,11 @@
 	minBackoff, maxBackoff = 50 * time.Millisecond, 2 * time.Second
 	// maxWindow is a window that holds nothing up.
 	maxWindow = 1000.0
+	// failureRateSamples is about how many of the latest attempts the failure rate is taken from.
+	failureRateSamples = 8
 )
 
+// handleRequest lets a request wait for admission, unless the fleet's quota lease sheds it.
 func (b *Balancer) handleRequest(q Request) {
 	r := b.trackRequest(q)
 	// The answer must be out before the deadline; two ticks cover rounding and a batch that comes late.
@@ -136,7 +139,7 @@
 // growWindow widens the window again, step by step, with each connection that is established.
 func (b *Balancer) growWindow() {
 	a := &b.admission
-	a.failureRate -= a.failureRate / 8
+	a.failureRate -= a.failureRate / failureRateSamples
 	a.backoff -= a.backoff / 8
 	a.window = min(a.window+1, maxWindow)
 	b.admitQueued()
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -47,6 +47,7 @@
 	b.growWindow()
 }
 
+// handleAttemptEnded goes on with a request whose attempt or connection has ended.
 func (b *Balancer) handleAttemptEnded(e AttemptEnded) {
 	if s := b.servers.byID[e.Server]; s != nil && b.settings.LoadReporting.InOutcomes {
 		b.applyReport(s, e.LoadReport)
@@ -82,7 +83,7 @@
 	switch outcome {
 	case Errored, ConnectFailed, AtCapacity, TimedOut, Reset:
 		b.recordFault(s)
-		b.admission.failureRate += (1 - b.admission.failureRate) / 8
+		b.admission.failureRate += (1 - b.admission.failureRate) / failureRateSamples
 		if b.admission.failureRate > maxFailureRate {
 			b.reduceWindow()
 		}
