--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -1,10 +1,8 @@
 package dispatch
 
-// What the roster says of the next hops.
-
 import "coralrelay/balance"
 
-// Listed is told what the roster says.
+// UpdateEndpoints reports what discovery has said of the endpoint list.
 func (l *EventLoop) UpdateEndpoints(update balance.ListUpdate) {
 	l.post(func() {
 		l.trackListed(update)
@@ -12,8 +10,8 @@
 	})
 }
 
-// named notes which next hops the roster names. What the node had last may be old, and
-// doesn't count.
+// trackListed keeps the set of servers in discovery's list. A cached list may be old and does
+// not count.
 func (l *EventLoop) trackListed(update balance.ListUpdate) {
 	switch update.Kind {
 	case balance.ListFailed, balance.ListCached:
--- a/internal/dispatch/eventloop.go
+++ b/internal/dispatch/eventloop.go
@@ -1,30 +1,32 @@
-// Package decide gives the decision module its place in the node: one goroutine
-// owns the Balancer, takes events from a channel and carries the actions out.
-// It never waits for a socket. Nothing is decided here.
 package dispatch
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"coralrelay/balance"
 	"coralrelay/internal/logging"
-	"coralrelay/internal/route"
 )
 
-// looks is how old the module's word on what it avoids may be.
-const avoidedRefreshInterval = 200 * time.Millisecond
+const (
+	// avoidedRefreshInterval is the greatest age of AvoidedCount's answer.
+	avoidedRefreshInterval = 200 * time.Millisecond
+	// inboxCapacity is how many closures may wait for Run before post blocks.
+	inboxCapacity = 1024
+)
 
-// Prober asks next hops for their load. Probe returns at once; the answer is told
-// to the Core by Probed.
+// Prober requests load reports from endpoints. Probe returns at once; the result is reported
+// to EventLoop.ProbeEnded.
 type Prober interface{ Probe(server string) }
 
-// Roster is asked for the list of next hops. Subscribe returns at once.
+// Discovery polls for the endpoint list. Subscribe returns at once; the result is reported to
+// EventLoop.UpdateEndpoints.
 type Discovery interface{ Subscribe() }
 
-// Core owns the Balancer.
+// EventLoop owns the decision module and the placements that are under way.
 type EventLoop struct {
 	Router Router // nil where there are no routes; set before Run
 
@@ -33,42 +35,36 @@
 	prober         Prober
 	discovery      Discovery
 	inbox          chan func()
-	done           chan struct{}
+	done           chan struct{} // closed when Run has ended
 	rejectedLog    logging.Throttled
-	avoidedServers atomic.Int64 // next hops that the module avoids, by its last word
+	avoidedServers atomic.Int64 // refreshed every avoidedRefreshInterval
 
-	// What follows belongs to Run's goroutine.
+	// The fields below belong to Run's goroutine.
 	knownClasses    map[string]bool
-	listedServers   map[string]bool // next hops that the roster names; nil until it has answered
+	listedServers   map[string]bool // in discovery's list; nil until discovery has answered
 	placements      map[string]*activePlacement
 	timers          timerHeap
-	actions         []balance.Action
+	actions         []balance.Action                                  // of the latest event; reused
 	attemptObserver func(contract, server string, took time.Duration) // nil for none
 }
 
-// entry is what the Core keeps of a transaction.
-type activePlacement struct {
-	placement    Placement
-	request      *Request
-	starter      AttemptStarter // of the front that brought it
-	server       string         // of its latest branch
-	attemptCount int
-	established  bool
-	pendingEnd   func()                  // its end, told before its start
-	route        *route.Route            // that it counts on; nil for none
-	constraint   *balance.ZoneConstraint // and where it may be drawn by it
-	trace        *trace                  // nil where nobody reads it
-}
-
-// New returns a Core for settings; Run starts it.
+// New returns an EventLoop for the settings; Run starts it. The seed is that of the module's
+// random draws. It fails if the module does not accept the settings.
 func New(clock Clock, seed uint64, settings balance.Settings, prober Prober, discovery Discovery) (*EventLoop, error) {
 	balancer, err := balance.New(seed, settings)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("create the decision module: %w", err)
 	}
-	return &EventLoop{clock: clock, balancer: balancer, prober: prober, discovery: discovery,
-		inbox: make(chan func(), 1024), done: make(chan struct{}),
-		knownClasses: classNames(settings.Classes), placements: map[string]*activePlacement{}}, nil
+	return &EventLoop{
+		clock:        clock,
+		balancer:     balancer,
+		prober:       prober,
+		discovery:    discovery,
+		inbox:        make(chan func(), inboxCapacity),
+		done:         make(chan struct{}),
+		knownClasses: classNames(settings.Classes),
+		placements:   map[string]*activePlacement{},
+	}, nil
 }
 
 func classNames(classes []balance.Class) map[string]bool {
@@ -79,7 +75,7 @@
 	return known
 }
 
-// Run handles events until ctx ends.
+// Run handles events and timers until ctx ends.
 func (l *EventLoop) Run(ctx context.Context) {
 	defer close(l.done)
 	wake := time.NewTimer(0)
@@ -96,20 +92,26 @@
 		case <-refresh.C:
 			l.avoidedServers.Store(int64(l.balancer.AvoidedServers()))
 		}
-		for now := time.Now(); ; {
-			run, due := l.timers.popDue(now)
-			if !due {
-				break
-			}
-			run()
-		}
+		l.runDueTimers(time.Now())
 		if len(l.timers) > 0 {
 			wake.Reset(time.Until(l.timers[0].dueAt))
 		}
 	}
 }
 
-// post hands f to Run's goroutine.
+// runDueTimers runs the timers that are due at a time, those that they set included.
+func (l *EventLoop) runDueTimers(now time.Time) {
+	for {
+		run, due := l.timers.popDue(now)
+		if !due {
+			return
+		}
+		run()
+	}
+}
+
+// post hands f to Run's goroutine. It waits while the inbox is full, and drops f once Run has
+// ended.
 func (l *EventLoop) post(f func()) {
 	select {
 	case l.inbox <- f:
@@ -117,7 +119,7 @@
 	}
 }
 
-// handle tells the module an event and does what it answers.
+// handle passes an event to the module and executes the actions that it answers with.
 func (l *EventLoop) handle(event balance.Event) {
 	now := time.Now()
 	l.actions = l.balancer.Handle(l.clock.At(now), event, l.actions[:0])
@@ -126,24 +128,13 @@
 	}
 }
 
+// execute turns one of the module's actions into a call.
 func (l *EventLoop) execute(now time.Time, action balance.Action) {
 	switch a := action.(type) {
 	case balance.Attempt:
-		if active := l.placements[a.ID]; active != nil {
-			deadline := active.request.Deadline
-			if a.Timeout > 0 && now.Add(a.Timeout).Before(deadline) {
-				deadline = now.Add(a.Timeout)
-			}
-			active.server = a.Server
-			if active.route != nil && active.attemptCount > 0 {
-				l.Router.AddUsage(active.route, 1, 0)
-			}
-			active.trace.attemptStarted(a.Server)
-			active.starter.StartAttempt(active.placement, active.attemptCount, a.Server, deadline)
-			active.attemptCount++
-		}
+		l.startAttempt(now, a)
 	case balance.Reject:
-		if active := l.remove(a.ID, "refused"); active != nil {
+		if active := l.remove(a.ID, "rejected"); active != nil {
 			active.placement.Reject(a.RetryAfter)
 		}
 	case balance.Fail:
@@ -152,7 +143,7 @@
 		}
 	case balance.Migrate:
 		if active := l.placements[a.ID]; active != nil {
-			active.trace.attemptStatus("moved")
+			active.trace.attemptStatus("migrated")
 			active.placement.Migrate()
 		}
 	case balance.Probe:
@@ -162,28 +153,6 @@
 	case balance.Subscribe:
 		l.discovery.Subscribe()
 	case balance.Log:
-		slog.Info("module", "says", a.Text)
-	}
-}
-
-// drop forgets a transaction that is over, for good; how is for the log.
-func (l *EventLoop) remove(id, ending string) *activePlacement {
-	active := l.placements[id]
-	if active == nil {
-		return nil
-	}
-	if active.route != nil {
-		l.Router.Release(active.route)
-	}
-	active.trace.log(active.request, ending)
-	delete(l.placements, id)
-	return active
-}
-
-// known returns the entry of an item, or nil if it is over or another took its id.
-func (l *EventLoop) lookup(placement Placement) *activePlacement {
-	if active := l.placements[placement.PlacementRequest().ID]; active != nil && active.placement == placement {
-		return active
+		slog.Info("decision module log", "component", "dispatch", "text", a.Text)
 	}
-	return nil
 }
--- a/internal/dispatch/module.go
+++ b/internal/dispatch/module.go
@@ -1,14 +1,12 @@
 package dispatch
 
-// What is told to the module and asked of it besides items and next hops.
-
 import (
 	"time"
 
 	"coralrelay/balance"
 )
 
-// Retune goes on by other settings, which Settings.Check has passed.
+// UpdateSettings brings other settings into force, which Settings.Check must have passed.
 func (l *EventLoop) UpdateSettings(settings balance.Settings) {
 	l.post(func() {
 		l.knownClasses = classNames(settings.Classes)
@@ -16,22 +14,37 @@
 	})
 }
 
-// Avoided is how many of the listed next hops the module avoided a moment ago. It
-// waits for nobody.
+// AvoidedCount is how many of the listed servers the module avoided within the last
+// avoidedRefreshInterval. It does not wait for Run.
 func (l *EventLoop) AvoidedCount() int { return int(l.avoidedServers.Load()) }
 
-// Recall is what the module has learned, and Learn tells it what another process's has.
+// ExportLearnedState returns what the module has learned, for the process that takes over. It
+// waits for Run.
 func (l *EventLoop) ExportLearnedState() balance.LearnedState {
 	return query(l, l.balancer.LearnedState)
 }
 
-// Spending is what the module has spent of the fleet's budgets, and Grant tells it what it
-// may spend.
+// ImportLearnedState passes on what another process's module has learned.
+func (l *EventLoop) ImportLearnedState(state balance.LearnedState) {
+	l.post(func() { l.handle(balance.InheritedState{LearnedState: state}) })
+}
+
+// QuotaUsage returns what the module has spent of the fleet's quotas. It waits for Run.
 func (l *EventLoop) QuotaUsage() balance.QuotaUsage { return query(l, l.balancer.QuotaUsage) }
 
+// ApplyQuotaLease passes on what the module may spend of the fleet's quotas.
 func (l *EventLoop) ApplyQuotaLease(lease balance.QuotaLease) { l.post(func() { l.handle(lease) }) }
 
-// ask puts a question to the module; the answer is empty once the Core has ended.
+// RunOnLoop runs f on Run's goroutine, with the module's time, and waits for it. Once Run has
+// ended it does not run f.
+func (l *EventLoop) RunOnLoop(f func(now time.Duration)) {
+	query(l, func(now time.Duration) struct{} { f(now); return struct{}{} })
+}
+
+// Now is the module's time. It is for the Router.
+func (l *EventLoop) Now() time.Duration { return l.clock.At(time.Now()) }
+
+// query runs read on Run's goroutine and returns its answer, the zero value once Run has ended.
 func query[T any](loop *EventLoop, read func(now time.Duration) T) (answer T) {
 	reply := make(chan T, 1)
 	loop.post(func() { reply <- read(loop.clock.At(time.Now())) })
@@ -41,7 +54,3 @@
 	}
 	return answer
 }
-
-func (l *EventLoop) ImportLearnedState(state balance.LearnedState) {
-	l.post(func() { l.handle(balance.InheritedState{LearnedState: state}) })
-}
--- a/internal/dispatch/observer.go
+++ b/internal/dispatch/observer.go
@@ -6,18 +6,19 @@
 	"coralrelay/balance"
 )
 
-// Lost is what an attempt took that never came up.
+// FailedAttemptDuration is reported as the duration of an attempt that failed.
 const FailedAttemptDuration = time.Hour
 
-// Time has f told, on the Core's goroutine, how long each attempt took of an item whose route
-// has a contract, Lost for one that failed. It returns at once.
+// SetAttemptObserver has observe called, on Run's goroutine, with the duration of each attempt
+// for a placement whose route has a contract: FailedAttemptDuration for one that failed.
 func (l *EventLoop) SetAttemptObserver(observe func(contract, server string, duration time.Duration)) {
 	l.post(func() { l.attemptObserver = observe })
 }
 
-// timed tells of an attempt. Of one that was given up, or of which nobody was asked, there is
-// nothing to tell.
-func (l *EventLoop) observeAttempt(active *activePlacement, server string, outcome balance.Outcome, duration time.Duration) {
+// observeAttempt reports the duration of an attempt to the observer. Attempts that were
+// cancelled or never sent are not reported.
+func (l *EventLoop) observeAttempt(active *activePlacement, server string, outcome balance.Outcome,
+	duration time.Duration) {
 	switch {
 	case l.attemptObserver == nil || active.route == nil || active.route.Contract == "" || duration <= 0:
 		return
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// timer is something to do later.
+// timer is a function to run at a time.
 type timer struct {
 	dueAt time.Time
 	run   func()
 }
 
-// timers is a heap of them, the next one first.
+// timerHeap is a heap of timers, the next one first.
 type timerHeap []timer
 
 func (t timerHeap) Len() int           { return len(t) }
@@ -25,9 +25,10 @@
 	return popped
 }
 
+// schedule adds a timer.
 func (t *timerHeap) schedule(dueAt time.Time, run func()) { heap.Push(t, timer{dueAt, run}) }
 
-// due takes the first timer off the heap if its time has come.
+// popDue takes the first timer off the heap if it is due.
 func (t *timerHeap) popDue(now time.Time) (run func(), ok bool) {
 	if len(*t) == 0 || (*t)[0].dueAt.After(now) {
 		return nil, false
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -1,7 +1,5 @@
 package dispatch
 
-// One debug line for each transaction: its branches, where they went and how it ended.
-
 import (
 	"context"
 	"fmt"
@@ -11,18 +9,25 @@
 	"coralrelay/balance"
 )
 
-var outcomeNames = map[balance.Outcome]string{balance.OK: "ok", balance.Errored: "error", balance.AtCapacity: "full",
-	balance.TimedOut: "timed out", balance.ConnectFailed: "not connected", balance.Reset: "reset",
-	balance.Cancelled: "cancelled", balance.NotSent: "not sent"}
+var outcomeNames = map[balance.Outcome]string{
+	balance.OK:            "ok",
+	balance.Errored:       "error",
+	balance.AtCapacity:    "at capacity",
+	balance.TimedOut:      "timed out",
+	balance.ConnectFailed: "connect failed",
+	balance.Reset:         "reset",
+	balance.Cancelled:     "cancelled",
+	balance.NotSent:       "not sent",
+}
 
-// trace is what the line says. A nil one costs nothing: debug lines were off when its
-// transaction came.
+// trace gathers the one debug line of a placement: its attempts, where they went and how it
+// ended. A nil trace does nothing: debug lines were off when the placement was submitted.
 type trace struct {
 	startedAt time.Time
-	attempts  []string // next hop, when it was chosen, and how it went
+	attempts  []string // server, when it was chosen, and what became of it
 }
 
-// traced returns a trace where debug lines are written.
+// newTrace returns a trace, nil where debug lines are off.
 func newTrace() *trace {
 	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
 		return nil
@@ -30,14 +35,14 @@
 	return &trace{startedAt: time.Now()}
 }
 
-// branch notes that an attempt goes to a next hop.
+// attemptStarted adds an attempt at a server.
 func (t *trace) attemptStarted(server string) {
 	if t != nil {
 		t.attempts = append(t.attempts, fmt.Sprintf("%s at %s", server, t.elapsed()))
 	}
 }
 
-// word notes what has become of the latest attempt.
+// attemptStatus adds what has become of the latest attempt.
 func (t *trace) attemptStatus(status string) {
 	if t != nil && len(t.attempts) > 0 {
 		last := &t.attempts[len(t.attempts)-1]
@@ -45,14 +50,18 @@
 	}
 }
 
-// end writes the line.
+// log writes the line.
 func (t *trace) log(request *Request, ending string) {
-	if t != nil {
-		slog.Debug("transaction", "id", request.ID, "class", request.Class, "group", request.Group, "again", request.Retry || request.Returned,
-			"left", time.Until(request.Deadline).Round(time.Millisecond), "branches", t.attempts, "ended", ending, "after", t.elapsed())
+	if t == nil {
+		return
 	}
+	slog.Debug("placement ended", "component", "dispatch", "id", request.ID, "class", request.Class,
+		"group", request.Group, "retry", request.Retry || request.Returned,
+		"time_left", time.Until(request.Deadline).Round(time.Millisecond),
+		"attempts", t.attempts, "outcome", ending, "duration", t.elapsed())
 }
 
+// elapsed is the time since the placement was submitted.
 func (t *trace) elapsed() string {
 	return time.Since(t.startedAt).Round(100 * time.Microsecond).String()
 }
