--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -1,12 +1,9 @@
 package upstream
 
-// One attempt of a transaction: a connection, its first line, the answer.
-
 import (
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -17,113 +14,126 @@
 	"coralrelay/internal/proxy"
 )
 
-// branch is one attempt of a transaction.
+// attempt is one attempt of a session: a connection, the session's first line on it, and the
+// endpoint's reply.
 type attempt struct {
 	pool     *Pool
 	session  *proxy.Session
-	endpoint *endpointState
+	endpoint *endpointState // nil if it is not in the list
 	deadline time.Time
 }
 
-// Start starts a branch; it ends with its transaction's context or at the
-// deadline, and is told to the watcher.
+// attemptResult is how an attempt ended. The outcome counts unless it is established.
+type attemptResult struct {
+	established bool
+	outcome     balance.Outcome
+	load        balance.LoadReport
+}
+
+func failedAttempt(outcome balance.Outcome) attemptResult {
+	return attemptResult{outcome: outcome, load: balance.EmptyLoadReport}
+}
+
+// StartAttempt starts an attempt for a placement, which must be a *proxy.Session. The attempt
+// ends with the session's context or at the deadline, and is reported to the observer.
 func (p *Pool) StartAttempt(placement dispatch.Placement, attemptNumber int, server string, deadline time.Time) {
-	session := placement.(*proxy.Session) // exchange.Decided brings no others here
+	session := placement.(*proxy.Session) // the line protocol's listener submits no others
 	a := &attempt{pool: p, session: session, endpoint: p.lookup(server), deadline: deadline}
 	go func() {
 		startedAt := time.Now()
-		established, outcome, load := a.run()
+		result := a.run()
 		latency := time.Since(startedAt)
-		if established {
+		if result.established {
 			p.observer.AttemptEstablished(session, attemptNumber, server, latency)
 			return
 		}
-		p.observer.AttemptEnded(session, attemptNumber, server, outcome, latency, load)
+		p.observer.AttemptEnded(session, attemptNumber, server, result.outcome, latency, result.load)
 	}()
 }
 
-// run makes the attempt. Unless it is up, its socket is closed on return. One whose
-// transaction is over meanwhile was called off, whatever came of its socket then: its
-// caller has left, and that speaks for no next hop. Told as a reset, it could.
-func (a *attempt) run() (established bool, outcome balance.Outcome, load balance.LoadReport) {
+// run makes the attempt. Unless it is established, its socket is closed on return. If the
+// session has ended meanwhile the attempt was cancelled, whatever its socket returned then:
+// its client has left, which must not count against the endpoint.
+func (a *attempt) run() attemptResult {
 	if a.endpoint == nil {
-		return false, balance.ConnectFailed, balance.EmptyLoadReport
+		return failedAttempt(balance.ConnectFailed)
 	}
-	established, outcome, load = a.connect()
-	if !established && a.session.Context().Err() != nil {
-		outcome = balance.Cancelled
+	result := a.connect()
+	if !result.established && a.session.Context().Err() != nil {
+		result.outcome = balance.Cancelled
 	}
-	return established, outcome, load
+	return result
 }
 
-func (a *attempt) connect() (established bool, outcome balance.Outcome, load balance.LoadReport) {
-	conn, err := a.pool.dial(a.session.Context(), a.endpoint.address(), a.deadline)
+// connect opens the connection and forwards the first line on it.
+func (a *attempt) connect() attemptResult {
+	raw, err := a.pool.dial(a.session.Context(), a.endpoint.address(), a.deadline)
 	if err != nil {
-		return false, balance.ConnectFailed, balance.EmptyLoadReport
+		return failedAttempt(balance.ConnectFailed)
 	}
-	buffered := bufconn.New(conn)
-	stop := context.AfterFunc(a.session.Context(), func() { _ = conn.Close() })
-	established, outcome, load = a.forwardFirstLine(buffered, stop)
-	if !established {
+	conn := bufconn.New(raw)
+	stop := context.AfterFunc(a.session.Context(), func() { _ = raw.Close() })
+	result := a.forwardFirstLine(conn, stop)
+	if !result.established {
 		stop()
-		buffered.Release()
+		conn.Release()
 	}
-	return established, outcome, load
+	return result
 }
 
-// offer writes the first line and waits for the answer.
-func (a *attempt) forwardFirstLine(conn *bufconn.Conn, stop func() bool) (bool, balance.Outcome, balance.LoadReport) {
+// forwardFirstLine writes the session's first line and waits for the reply. stop ends the
+// closing of the connection with the session's context, and is false if it has closed.
+func (a *attempt) forwardFirstLine(conn *bufconn.Conn, stop func() bool) attemptResult {
 	now := time.Now()
-	// A dial may take long: what has come meanwhile counts, so it is looked at again just
-	// before the first byte. The caller may have left, in a moment in which nobody has
-	// closed this socket yet; the next hop may drain; and the deadline, which for what may
-	// have run before is no later than the end of its window, may have come.
-	if a.session.Context().Err() != nil || !now.Before(a.deadline) ||
-		a.session.CurrentServer == "" && !a.endpoint.acceptsSessions(now, a.pool.limits.Load().DrainGrace/2) {
-		return false, balance.ConnectFailed, balance.EmptyLoadReport
+	if !a.maySend(now) {
+		return failedAttempt(balance.ConnectFailed)
 	}
 	if err := conn.WriteLine(a.session.ForwardLine(now, a.deadline), a.deadline); err != nil {
-		return false, balance.ConnectFailed, balance.EmptyLoadReport // its last byte was not written
+		return failedAttempt(balance.ConnectFailed) // its last byte was not written
 	}
 	a.session.Metrics.Forwarded()
 	text, err := conn.ReadTextLineBefore(a.deadline)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return false, balance.TimedOut, balance.EmptyLoadReport
+		return failedAttempt(balance.TimedOut)
 	case err != nil:
-		return false, balance.Reset, balance.EmptyLoadReport
+		return failedAttempt(balance.Reset)
+	}
+	return a.handleReply(conn, stop, text)
+}
+
+// maySend is whether the first line may be sent. A dial may take long, so this is looked at
+// again just before the first byte: the client may have left, in a moment in which nobody has
+// closed the socket yet; the endpoint may drain; and the deadline, which for a request that may
+// have run before is no later than the end of its retry window, may have passed. An endpoint
+// that holds the session already gets it also while it drains.
+func (a *attempt) maySend(now time.Time) bool {
+	if a.session.Context().Err() != nil || !now.Before(a.deadline) {
+		return false
 	}
+	return a.session.CurrentServer != "" || a.endpoint.acceptsTraffic(now, a.pool.sendGrace())
+}
+
+// handleReply turns the endpoint's reply into the result. On UP the connection goes to the
+// session, unless that has ended.
+func (a *attempt) handleReply(conn *bufconn.Conn, stop func() bool, text []byte) attemptResult {
 	reply, load := lineproto.ParseReply(text)
 	switch reply {
 	case lineproto.Up:
 		_ = conn.SetReadDeadline(time.Time{})
 		if stop() && a.session.Establish(string(text), a.endpoint.id, conn) {
-			return true, balance.OK, load
+			return attemptResult{established: true, outcome: balance.OK, load: load}
 		}
-		return false, balance.Cancelled, load
+		return attemptResult{outcome: balance.Cancelled, load: load}
 	case lineproto.Busy:
-		return false, balance.AtCapacity, load
+		return attemptResult{outcome: balance.AtCapacity, load: load}
 	case lineproto.Bye:
-		return false, balance.OK, load
+		return attemptResult{outcome: balance.OK, load: load}
 	case lineproto.Moved:
-		return false, balance.Cancelled, load
+		return attemptResult{outcome: balance.Cancelled, load: load}
 	case lineproto.Malformed:
-		a.pool.malformedLog.Warn("malformed answer", "nexthop", a.endpoint.id, "line", fmt.Sprintf("%.60q", text))
+		a.pool.malformedLog.Warn("malformed reply from endpoint", "component", "upstream",
+			"endpoint", a.endpoint.id, "line", fmt.Sprintf("%.60q", text))
 	}
-	return false, balance.Errored, load
-}
-
-// dial connects before the deadline, or the limit for connections if that is
-// sooner.
-func (p *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	timeout := p.limits.Load().ConnectTimeout
-	if connectDeadline := time.Now().Add(timeout); timeout > 0 && connectDeadline.Before(deadline) {
-		deadline = connectDeadline
-	}
-	return p.Dial(ctx, addr, deadline)
-}
-
-func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
-	dialer := net.Dialer{Deadline: deadline, KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp", addr)
+	return attemptResult{outcome: balance.Errored, load: load}
 }
--- /dev/null
+++ b/internal/upstream/fakes_test.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/discovery"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
+)
+
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
+
+// observation is the result of an attempt or a probe.
+type observation struct {
+	established bool
+	outcome     balance.Outcome
+	load        balance.LoadReport
+}
+
+// observationChannel is an observer that passes results to the test.
+type observationChannel chan observation
+
+func (c observationChannel) AttemptEstablished(dispatch.Placement, int, string, time.Duration) {
+	c <- observation{established: true}
+}
+func (c observationChannel) AttemptEnded(_ dispatch.Placement, _ int, _ string, outcome balance.Outcome,
+	_ time.Duration, load balance.LoadReport) {
+	c <- observation{outcome: outcome, load: load}
+}
+func (c observationChannel) ProbeEnded(_ string, outcome balance.Outcome, _ time.Duration, load balance.LoadReport) {
+	c <- observation{outcome: outcome, load: load}
+}
+
+// The session calls these; no test here waits for them.
+
+// ClientGone implements proxy.Observer.
+func (c observationChannel) ClientGone(dispatch.Placement) {}
+
+// PlacementEnded implements proxy.Observer.
+func (c observationChannel) PlacementEnded(dispatch.Placement, balance.Outcome) {}
+
+// next waits for the next result and fails the test if none comes.
+func (c observationChannel) next(t *testing.T) observation {
+	t.Helper()
+	select {
+	case got := <-c:
+		return got
+	case <-time.After(testTimeout):
+		t.Fatal("timed out waiting for a result")
+		return observation{}
+	}
+}
+
+// listen serves each connection with serve until the test ends.
+func listen(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer conn.Close(); serve(conn) }()
+		}
+	}()
+	t.Cleanup(func() { listener.Close() })
+	return listener.Addr().String()
+}
+
+// endpointAt is an entry of a ready endpoint.
+func endpointAt(id, addr string) discovery.Endpoint {
+	return discovery.Endpoint{ServerEntry: balance.ServerEntry{ID: id}, Addr: addr}
+}
+
+// startPool returns a Pool that knows one endpoint, s1, which serves each connection with serve.
+func startPool(t *testing.T, serve func(net.Conn)) (*Pool, observationChannel, string) {
+	t.Helper()
+	addr := listen(t, serve)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	pool, observations := New(ctx, Limits{
+		ConnectTimeout: testTimeout,
+		ProbeTimeout:   300 * time.Millisecond,
+		DrainGrace:     300 * time.Millisecond,
+	}), make(observationChannel, 16)
+	pool.SetObserver(observations)
+	pool.Update(true, []discovery.Endpoint{endpointAt("s1", addr)}, time.Now())
+	return pool, observations, addr
+}
+
+// newSession returns a session whose client waits for its answer.
+func newSession(t *testing.T, observations observationChannel) *proxy.Session {
+	t.Helper()
+	serverSide, clientSide := net.Pipe()
+	t.Cleanup(func() { serverSide.Close(); clientSide.Close() })
+	return newSessionOn(t, observations, serverSide)
+}
+
+// newSessionOn returns a session of the client on a connection.
+func newSessionOn(t *testing.T, observations observationChannel, conn net.Conn) *proxy.Session {
+	t.Helper()
+	open, err := lineproto.ParseConnectRequest([]byte("OPEN a k c=feed,d=2000,g=x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return proxy.New(proxy.Request{ID: "a"}, &open, lineproto.Codec{}, observations, bufconn.New(conn))
+}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -1,16 +1,18 @@
 package upstream
 
 import (
+	"errors"
 	"syscall"
 
 	"coralrelay/internal/bufconn"
 )
 
-// quiet tells whether nothing has come on a kept connection since its last answer, so that
-// what comes next answers what is asked next. An end tells that its next hop has closed it
-// while it rested, and nobody would answer. A line is a second answer
-// to the last question; taken for the next one's, all later answers would be one behind.
-// It waits for nothing. What is read is lost: a connection that is not quiet is not kept.
+// isIdle is whether nothing has come on a kept connection since its last answer, so that the
+// next line answers the next request. An end of file means that the endpoint has closed the
+// connection while it was idle, and nobody would answer. A line is a second answer to the last
+// request: taken for the next one's, all later answers would be one behind.
+//
+// It does not block. What it reads is lost, so a connection that is not idle must be closed.
 func isIdle(buffered *bufconn.Conn) bool {
 	if buffered.R.Buffered() > 0 {
 		return false
@@ -27,7 +29,7 @@
 	err = raw.Read(func(fd uintptr) bool {
 		var buffer [1]byte
 		_, err := syscall.Read(int(fd), buffer[:])
-		idle = err == syscall.EAGAIN || err == syscall.EINTR
+		idle = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 		return true
 	})
 	return err == nil && idle
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,5 +1,3 @@
-// Package nexthop is the side of the feed servers: it makes branches, one
-// connection each, and probes over one kept connection to each next hop.
 package upstream
 
 import (
@@ -15,27 +13,27 @@
 	"coralrelay/internal/logging"
 )
 
-// Watcher is told what becomes of branches and probes. A branch's socket is
-// closed, or the exchange's, by then.
+// Observer receives the results of attempts and probes. When it gets the result of an attempt,
+// the attempt's socket is closed or belongs to the session.
 type Observer interface {
-	AttemptEstablished(item dispatch.Placement, attempt int, server string, latency time.Duration)
-	AttemptEnded(item dispatch.Placement, attempt int, server string, outcome balance.Outcome,
+	AttemptEstablished(placement dispatch.Placement, attempt int, server string, latency time.Duration)
+	AttemptEnded(placement dispatch.Placement, attempt int, server string, outcome balance.Outcome,
 		latency time.Duration, load balance.LoadReport)
 	ProbeEnded(server string, outcome balance.Outcome, latency time.Duration, load balance.LoadReport)
 }
 
-// Limits bound what is spent on a next hop.
+// Limits bound what is spent on an endpoint.
 type Limits struct {
-	ConnectTimeout time.Duration // a connection not made within this could not be made
-	ProbeTimeout   time.Duration // a probe not answered within this has timed out
-	DrainGrace     time.Duration // sends end this long after a drain was told
+	ConnectTimeout time.Duration // for a connection of an attempt or a probe; 0 for no limit of its own
+	ProbeTimeout   time.Duration // for a probe, its connection included
+	DrainGrace     time.Duration // after a drain is known, until nothing may be sent any more
 }
 
-// Hops knows the next hops and their addresses. Its methods never block on a
-// socket.
+// Pool knows the endpoints and their addresses. Its methods may be called from any goroutine
+// and never block on a socket.
 type Pool struct {
-	// Dial connects to an address by a deadline, over TCP unless a test has another
-	// way. Set before anything is started.
+	// Dial connects to an address by a deadline, over TCP unless a test replaces it. Set
+	// before anything is started.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
 	ctx          context.Context // ends every probe connection
@@ -47,40 +45,27 @@
 	endpoints map[string]*endpointState
 }
 
-// hop is one next hop.
-type endpointState struct {
-	id string
-
-	mu             sync.Mutex
-	addr           string
-	drainStartedAt time.Time // when the roster told that it drains or is gone; zero if not
-	unresponsive   bool      // it did not answer its last probe
-
-	probeRequests chan struct{} // a probe is wanted
-	cancel        context.CancelFunc
-}
-
-// New returns Hops without any next hop; their probe connections end with ctx.
+// New returns a Pool without endpoints. Its probe connections end with ctx.
 func New(ctx context.Context, limits Limits) *Pool {
 	p := &Pool{Dial: dial, ctx: ctx, endpoints: map[string]*endpointState{}}
 	p.SetLimits(limits)
 	return p
 }
 
-// Limit bounds what is spent from now on.
+// SetLimits sets the limits for what is started from now on.
 func (p *Pool) SetLimits(limits Limits) { p.limits.Store(&limits) }
 
-// Listed is how many next hops the list names.
+// SetObserver sets the receiver of results. Call it before anything is started.
+func (p *Pool) SetObserver(observer Observer) { p.observer = observer }
+
+// EndpointCount is how many endpoints the list has.
 func (p *Pool) EndpointCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.endpoints)
 }
 
-// Watch names who is told; call it before anything is started.
-func (p *Pool) SetObserver(observer Observer) { p.observer = observer }
-
-// Update takes what the roster has told.
+// Update takes discovery's list, or changes to it unless full is set. now is when it came.
 func (p *Pool) Update(full bool, entries []discovery.Endpoint, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,11 +74,7 @@
 		listed[entry.ID] = true
 		endpoint := p.endpoints[entry.ID]
 		if endpoint == nil {
-			endpoint = &endpointState{id: entry.ID, probeRequests: make(chan struct{}, 1)}
-			p.endpoints[entry.ID] = endpoint
-			var ctx context.Context
-			ctx, endpoint.cancel = context.WithCancel(p.ctx)
-			go p.probeLoop(ctx, endpoint)
+			endpoint = p.add(entry.ID)
 		}
 		endpoint.update(entry.Addr, entry.State != balance.Ready, now)
 		if entry.State == balance.Gone {
@@ -108,8 +89,17 @@
 	}
 }
 
-// drop ends a next hop that is gone. Branches that hold it still see that it
-// is leaving.
+// add starts the probes of a new endpoint. The caller holds the lock.
+func (p *Pool) add(id string) *endpointState {
+	ctx, cancel := context.WithCancel(p.ctx)
+	endpoint := &endpointState{id: id, probeRequests: make(chan struct{}, 1), cancel: cancel}
+	p.endpoints[id] = endpoint
+	go (&prober{pool: p, endpoint: endpoint}).run(ctx)
+	return endpoint
+}
+
+// remove ends the probes of an endpoint that is gone. Attempts that hold it still see that it
+// drains. The caller holds the lock.
 func (p *Pool) remove(endpoint *endpointState) {
 	endpoint.cancel()
 	delete(p.endpoints, endpoint.id)
@@ -121,34 +111,7 @@
 	return p.endpoints[id]
 }
 
-func (e *endpointState) update(addr string, draining bool, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if addr != "" {
-		e.addr = addr
-	}
-	switch {
-	case !draining:
-		e.drainStartedAt = time.Time{}
-	case e.drainStartedAt.IsZero():
-		e.drainStartedAt = now
-	}
-}
-
-func (e *endpointState) address() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.addr
-}
-
-// mayTake tells whether a first line may still go there.
-func (e *endpointState) acceptsSessions(now time.Time, grace time.Duration) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.drainStartedAt.IsZero() || now.Before(e.drainStartedAt.Add(grace))
-}
-
-// Address is where a next hop is; empty if it is not known.
+// Address is where an endpoint is, empty if it is not known.
 func (p *Pool) Address(server string) string {
 	if endpoint := p.lookup(server); endpoint != nil {
 		return endpoint.address()
@@ -156,27 +119,38 @@
 	return ""
 }
 
-// MaySend tells whether a datagram may still go to a next hop. Of the grace after a
-// drain half is kept back, for what is under way.
+// CanSend is whether a datagram may still be sent to an endpoint. Half of the drain grace is
+// kept back for what is under way.
 func (p *Pool) CanSend(server string, now time.Time) bool {
 	endpoint := p.lookup(server)
-	return endpoint != nil && endpoint.acceptsSessions(now, p.limits.Load().DrainGrace/2)
+	return endpoint != nil && endpoint.acceptsTraffic(now, p.sendGrace())
 }
 
-// Answers tells whether a next hop has answered its last probe; one that was never asked
-// passes.
+// IsResponsive is whether an endpoint answered its last probe, true if there was none yet.
 func (p *Pool) IsResponsive(server string) bool {
 	endpoint := p.lookup(server)
-	if endpoint == nil {
-		return false
-	}
-	endpoint.mu.Lock()
-	defer endpoint.mu.Unlock()
-	return !endpoint.unresponsive
+	return endpoint != nil && endpoint.isResponsive()
 }
 
-// Leaving tells whether a next hop drains or is gone.
+// IsDraining is whether an endpoint drains or is gone.
 func (p *Pool) IsDraining(server string, now time.Time) bool {
 	endpoint := p.lookup(server)
-	return endpoint == nil || !endpoint.acceptsSessions(now, 0)
+	return endpoint == nil || !endpoint.acceptsTraffic(now, 0)
+}
+
+// sendGrace is for how long after the start of a drain something new may be sent.
+func (p *Pool) sendGrace() time.Duration { return p.limits.Load().DrainGrace / 2 }
+
+// dial connects before the deadline, or the connect timeout if that is sooner.
+func (p *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	timeout := p.limits.Load().ConnectTimeout
+	if connectDeadline := time.Now().Add(timeout); timeout > 0 && connectDeadline.Before(deadline) {
+		deadline = connectDeadline
+	}
+	return p.Dial(ctx, addr, deadline)
+}
+
+func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	dialer := net.Dialer{Deadline: deadline, KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", addr)
 }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -13,7 +13,11 @@
 	"coralrelay/internal/lineproto"
 )
 
-// Probe asks a next hop for its load.
+// errNotLoadReport marks an answer to a probe that is not a load report.
+var errNotLoadReport = errors.New("answer is not a load report")
+
+// Probe requests a load report from an endpoint. The result is reported to the observer; a
+// probe that is requested while another waits to be sent shares that one's result.
 func (p *Pool) Probe(server string) {
 	endpoint := p.lookup(server)
 	if endpoint == nil {
@@ -22,95 +26,108 @@
 	}
 	select {
 	case endpoint.probeRequests <- struct{}{}:
-	default: // one is waiting already, and answers both
+	default: // one waits already, and answers both
 	}
 }
 
-// probeLoop owns the kept connection of one next hop.
-func (p *Pool) probeLoop(ctx context.Context, endpoint *endpointState) {
-	var kept *bufconn.Conn
-	connectedAddr := "" // where l goes to
-	closeConn := func() {
-		if kept != nil {
-			kept.Release()
-			kept = nil
-		}
-	}
-	defer closeConn()
+// prober probes one endpoint over a kept connection. It belongs to the goroutine of run.
+type prober struct {
+	pool     *Pool
+	endpoint *endpointState
+	addr     string        // that conn goes to
+	conn     *bufconn.Conn // nil if there is none
+}
+
+// run probes whenever a probe is requested, until ctx ends.
+func (p *prober) run(ctx context.Context) {
+	defer p.closeConn()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-endpoint.probeRequests:
-		}
-		if addr := endpoint.address(); addr != connectedAddr || kept != nil && !isIdle(kept) {
-			closeConn() // whoever answers there is somebody else, or nobody any more
-			connectedAddr = addr
+		case <-p.endpoint.probeRequests:
 		}
+		p.closeStaleConn()
 		startedAt := time.Now()
-		deadline := startedAt.Add(p.limits.Load().ProbeTimeout)
-		reused := kept != nil
-		load, err := p.queryLoad(ctx, endpoint.id, connectedAddr, &kept, deadline)
-		if err != nil && reused && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errNotLoadReport) {
-			// The next hop may have closed it while it was idle. An answer that
-			// is no report is one all the same: asking again would only add to
-			// whatever ails it.
-			closeConn()
-			load, err = p.queryLoad(ctx, endpoint.id, connectedAddr, &kept, deadline)
-		}
+		load, err := p.probe(ctx, startedAt.Add(p.pool.limits.Load().ProbeTimeout))
 		if ctx.Err() != nil {
-			return // gone: what came of it says nothing of who may have its id now
+			return // the endpoint is gone: the result says nothing of a new one with its id
 		}
 		outcome := balance.OK
 		if err != nil {
-			outcome = probeOutcome(err, kept != nil)
-			closeConn()
+			outcome = probeOutcome(err, p.conn != nil)
+			p.closeConn()
 		}
-		endpoint.mu.Lock()
-		endpoint.unresponsive = outcome != balance.OK && outcome != balance.Errored
-		endpoint.mu.Unlock()
-		p.observer.ProbeEnded(endpoint.id, outcome, time.Since(startedAt), load)
+		p.endpoint.setUnresponsive(outcome != balance.OK && outcome != balance.Errored)
+		p.pool.observer.ProbeEnded(p.endpoint.id, outcome, time.Since(startedAt), load)
 	}
 }
 
-// errStats marks an answer that is no load report.
-var errNotLoadReport = errors.New("probe")
+// closeStaleConn closes the kept connection if the endpoint has moved, or if what would answer
+// on it is not the endpoint any more.
+func (p *prober) closeStaleConn() {
+	if addr := p.endpoint.address(); addr != p.addr || p.conn != nil && !isIdle(p.conn) {
+		p.closeConn()
+		p.addr = addr
+	}
+}
 
-func probeOutcome(err error, connected bool) balance.Outcome {
-	switch {
-	case errors.Is(err, errNotLoadReport):
-		return balance.Errored
-	case !connected:
-		return balance.ConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return balance.TimedOut
+// probe asks for a load report, once more over a new connection if the kept one is broken.
+func (p *prober) probe(ctx context.Context, deadline time.Time) (balance.LoadReport, error) {
+	reused := p.conn != nil
+	load, err := p.queryLoad(ctx, deadline)
+	// The endpoint may have closed the kept connection while it was idle. An answer that is not
+	// a load report is an answer all the same: to ask again would only add to what ails it.
+	if err != nil && reused && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errNotLoadReport) {
+		p.closeConn()
+		load, err = p.queryLoad(ctx, deadline)
 	}
-	return balance.Reset
+	return load, err
 }
 
-// stats asks over the kept connection, which it makes if there is none.
-func (p *Pool) queryLoad(ctx context.Context, id, addr string, kept **bufconn.Conn, deadline time.Time) (balance.LoadReport, error) {
-	if *kept == nil {
-		conn, err := p.dial(ctx, addr, deadline)
+// queryLoad asks over the kept connection, which it makes if there is none.
+func (p *prober) queryLoad(ctx context.Context, deadline time.Time) (balance.LoadReport, error) {
+	if p.conn == nil {
+		raw, err := p.pool.dial(ctx, p.addr, deadline)
 		if err != nil {
-			return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
+			return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", p.endpoint.id, err)
 		}
-		*kept = bufconn.New(conn)
+		p.conn = bufconn.New(raw)
 	}
-	buffered := *kept
-	stop := context.AfterFunc(ctx, func() { _ = buffered.Close() })
+	conn := p.conn
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := buffered.WriteLine(lineproto.Stats, deadline); err != nil {
-		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
+	if err := conn.WriteLine(lineproto.Stats, deadline); err != nil {
+		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", p.endpoint.id, err)
 	}
-	text, err := buffered.ReadTextLineBefore(deadline)
+	text, err := conn.ReadTextLineBefore(deadline)
 	if err != nil {
-		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", id, err)
+		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w", p.endpoint.id, err)
 	}
-	slog.Debug("probe", "nexthop", id, "line", string(text))
+	slog.Debug("probe answered", "component", "upstream", "endpoint", p.endpoint.id, "line", string(text))
 	load, err := lineproto.ParseStats(text)
 	if err != nil {
-		return balance.EmptyLoadReport, errors.Join(errNotLoadReport, err)
+		return balance.EmptyLoadReport, fmt.Errorf("probe %s: %w: %w", p.endpoint.id, errNotLoadReport, err)
 	}
 	return load, nil
 }
+
+func (p *prober) closeConn() {
+	if p.conn != nil {
+		p.conn.Release()
+		p.conn = nil
+	}
+}
+
+// probeOutcome is what a failed probe says of its endpoint.
+func probeOutcome(err error, connected bool) balance.Outcome {
+	switch {
+	case errors.Is(err, errNotLoadReport):
+		return balance.Errored
+	case !connected:
+		return balance.ConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.TimedOut
+	}
+	return balance.Reset
+}
