discovery: watcher, call, request and stream apart; tests by concern; comments in plain terms

Shape and comments only: the HTTP request and the two readers have files, what Run waits for is a function, tests share one fake service and one way to run a watcher, with the same cases.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -5,68 +5,67 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http/httputil"
-	"strings"
 	"time"
 
 	"coralrelay/internal/bufconn"
 )
 
 const (
-	// heartbeat is how often a watch says something; without a word for dead it is broken.
-	// A cut-off discovery gives no other sign. A word may come a quarter late; what then
-	// stays of the 6 s after which all that was missed counts as told is for two whole
-	// calls and the pauses of who decides when to ask: docs/notes/lists.md has the sum.
+	// heartbeatInterval is how often the service writes something on a watch. A watch that is
+	// silent for heartbeatTimeout is broken: a service that is cut off gives no other sign. A
+	// heartbeat may be late by a quarter. Changes count as known 6 s after they were made;
+	// what is left of that is for two complete calls and for the backoff of whoever decides
+	// when to poll: docs/notes/lists.md has the sum.
 	heartbeatInterval = 2 * time.Second
 	heartbeatTimeout  = heartbeatInterval + heartbeatInterval/4
-	// answered is how long a dial may take, and an answer or a list that has begun, until the
-	// next call is made beside it. A dial that is resent after a second comes up within it.
+	// responseTimeout limits a dial, and the time from a response's or list's beginning until
+	// the next call is made beside it. A connection request that is resent after a second is
+	// established within it.
 	responseTimeout = 1100 * time.Millisecond
-	// held is how long a call may wait for its answer's head. Discovery serves one call at a
-	// time and itself ends the others (protocol page): as long as it lets them wait, 1 s at
-	// one of the sites that lie beside the pages and 3 s at another, nothing is won by going
-	// to the end of its queue. No setting tells how long.
+	// headerTimeout limits the time until the response's header has come. The service handles
+	// one call at a time and itself ends the others (protocol page): as long as it lets them
+	// wait, 1 s at one known site and 3 s at another, nothing is won by going to the end of its
+	// queue. No setting says how long.
 	headerTimeout = 3100 * time.Millisecond
-	// largest bounds one message.
+	// maxMessageBytes is the largest message that is read.
 	maxMessageBytes = 8 << 20
 )
 
-// call is one call of discovery, and the watch that it may become.
+// call is one call to the service, and the watch that it may become.
 type call struct {
 	addr           string
 	fromGeneration int64
 	events         chan<- event
 
-	// What follows belongs to the goroutine of Watch.Run.
+	// The fields below belong to the goroutine of Watcher.Run.
 	cancel          context.CancelFunc
 	reason          callReason
-	listDeadline    time.Time        // when its list is late, if it is made after a watch
-	overdue         <-chan time.Time // when it is to be told as failed though it goes on
-	failureReported bool             // it has been
-	watching        bool             // it is a watch
+	listDeadline    time.Time        // for its first list, if the reason is reasonWatchEnded
+	overdue         <-chan time.Time // when it is reported as failed though it goes on; nil for never
+	failureReported bool             // it was overdue, or has failed
+	watching        bool             // its first list has come
 }
 
-// after is what a call is made after: that says how long its list is waited for.
+// callReason is why a call is made. It decides for how long its list is awaited.
 type callReason int
 
 const (
-	reasonStart      callReason = iota // of the process: time for a second call is left in any case
-	reasonWatchEnded                   // or a move: the time counts from its end, and may be short
-	reasonCallFailed                   // of a call: discovery may just be back, and have a queue
+	reasonStart      callReason = iota // the process starts: there is time for a second call
+	reasonWatchEnded                   // or the address has changed: the time since then counts
+	reasonCallFailed                   // the service may have just come back, and have a queue
 )
 
-// stage is how far the first message of a call has come.
+// progress is how far the first message of a call has come.
 type progress int
 
 const (
-	progressMessage progress = iota // and all that follow it
-	progressHeader                  // nothing has come behind the head, and need not: a watch may be quiet
-	progressFirstByte
+	progressMessage   progress = iota // a complete message, the first or a later one
+	progressHeader                    // the header: a message need not follow, as nothing may change
+	progressFirstByte                 // the first byte of the first message
 )
 
-// news is what a call says: how far it has come, a whole message, or its end.
+// event is what a call reports: its progress, a message, or its end, which has an error.
 type event struct {
 	call     *call
 	progress progress
@@ -75,8 +74,8 @@
 }
 
 var (
-	errOverdue         = errors.New("late: no answer, or half a list")
-	errMessageTooLarge = fmt.Errorf("a message of more than %d bytes", maxMessageBytes)
+	errOverdue         = errors.New("overdue: no response, or an incomplete list")
+	errMessageTooLarge = fmt.Errorf("message of more than %d bytes", maxMessageBytes)
 )
 
 func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
@@ -84,22 +83,24 @@
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
+// dialFunc connects to an address by a deadline.
 type dialFunc func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
-// run makes the call and tells what it says and its end, until ctx ends.
+// run makes the call and reports its events, the last of which has an error, until ctx ends.
 func (c *call) run(ctx context.Context, dial dialFunc) {
 	err := c.stream(ctx, dial)
 	c.send(ctx, event{call: c, err: fmt.Errorf("watch: %w", err)})
 }
 
-func (c *call) send(ctx context.Context, event event) {
+// send reports an event, unless ctx has ended.
+func (c *call) send(ctx context.Context, reported event) {
 	select {
-	case c.events <- event:
+	case c.events <- reported:
 	case <-ctx.Done():
 	}
 }
 
-// follow tells what the call says until it ends.
+// stream makes the call and reports its progress and messages until it ends.
 func (c *call) stream(ctx context.Context, dial dialFunc) error {
 	now := time.Now()
 	conn, err := dial(ctx, c.addr, now.Add(responseTimeout))
@@ -117,7 +118,9 @@
 	}
 	watched.headerReceived = true
 	c.send(ctx, event{call: c, progress: progressHeader})
-	reader := &byteReader{body: body, onFirstByte: func() { c.send(ctx, event{call: c, progress: progressFirstByte}) }}
+	reader := &byteReader{body: body, onFirstByte: func() {
+		c.send(ctx, event{call: c, progress: progressFirstByte})
+	}}
 	decoder := json.NewDecoder(reader)
 	for {
 		var decoded message
@@ -132,66 +135,3 @@
 		c.send(ctx, event{call: c, update: update})
 	}
 }
-
-// ask sends the request and returns the answer's body.
-func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (io.Reader, error) {
-	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, err
-	}
-	err := conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
-		c.fromGeneration, c.addr)
-	if err != nil {
-		return nil, err
-	}
-	status, err := conn.ReadLine()
-	if err != nil {
-		return nil, err
-	}
-	if version, code, _ := strings.Cut(status, " "); !strings.HasPrefix(version, "HTTP/1.") || !strings.HasPrefix(code, "200") {
-		return nil, fmt.Errorf("answered %.60q", status)
-	}
-	header, err := conn.ReadMIMEHeader()
-	if err != nil {
-		return nil, fmt.Errorf("head: %w", err)
-	}
-	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
-		return httputil.NewChunkedReader(conn.R), nil
-	}
-	return conn.R, nil
-}
-
-// live allows each read of a watch the time in which it says something.
-type heartbeatConn struct {
-	net.Conn
-	headerReceived bool // the head has come
-}
-
-func (c *heartbeatConn) Read(p []byte) (int, error) {
-	if c.headerReceived {
-		if err := c.SetReadDeadline(time.Now().Add(heartbeatTimeout)); err != nil {
-			return 0, err
-		}
-	}
-	return c.Conn.Read(p)
-}
-
-// oneByOne asks for a byte at a time, and for no more than a message may have. Asked for
-// more bytes, the reader of chunks waits for the rest of a chunk while it holds a whole list.
-type byteReader struct {
-	body        io.Reader
-	remaining   int
-	onFirstByte func() // told of the first byte that is no white space; nil then
-}
-
-func (r *byteReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, errMessageTooLarge
-	}
-	n, err := r.body.Read(p[:min(len(p), 1)])
-	r.remaining -= n
-	if r.onFirstByte != nil && n > 0 && p[0] > ' ' {
-		r.onFirstByte()
-		r.onFirstByte = nil
-	}
-	return n, err
-}
--- a/internal/discovery/race_test.go
+++ b/internal/discovery/race_test.go
@@ -17,34 +17,30 @@
 
 const fullList43 = `{"generation":43,"reset":true,"instances":[` + readyInstance + "]}\n"
 
-// barrier is a sink that holds its Watch at what it is told until the test takes it.
-type unbufferedSink chan Update
-
-func (b unbufferedSink) UpdateEndpoints(u Update) { b <- u }
-
-// A move in the middle of whatever is under way: what the old service has said by then is
-// all of it that is told, its end is no failure, and the new one is asked once, for all.
+// The address changes in the middle of whatever is under way: what the old service has sent by
+// then is all of it that is reported, its end is not a failure, and the new service is polled
+// once, for its complete list.
 func TestAddressChangeReplacesWhateverIsUnderWay(t *testing.T) {
 	tests := []struct {
-		name   string
-		says   string // what the old service says of a call before it is left
-		told   []balance.ListKind
-		before bool // the move comes between the wish and the call
+		name       string
+		response   string // what the old service sends before the address changes
+		want       []balance.ListKind
+		beforeCall bool // the address changes between the request for a poll and the call
 	}{
-		{"a wish, before anything is asked", "", nil, true},
+		{"a requested poll, before the call", "", nil, true},
 		{"a call", "", nil, false},
-		{"a head", responseHead[:30], nil, false},
+		{"a header", responseHead[:30], nil, false},
 		{"a list", responseHead + chunked(fullList43[:60], ""), nil, false},
-		{"a watch in mid-line", responseHead + chunked(fullList43+fullList43[:60], ""), []balance.ListKind{balance.ListFull}, false},
-		{"a back-off", "HTTP/1.1 503 Service Unavailable\r\n\r\n", []balance.ListKind{balance.ListFailed}, false},
+		{"a line", responseHead + chunked(fullList43+fullList43[:60], ""), []balance.ListKind{balance.ListFull}, false},
+		{"a backoff", "HTTP/1.1 503 Service Unavailable\r\n\r\n", []balance.ListKind{balance.ListFailed}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			responded, oldCallEnded := make(chan struct{}), make(chan struct{})
 			oldAddr := startFakeDiscovery(t, func(conn net.Conn, _ string) {
-				fmt.Fprint(conn, tt.says)
+				fmt.Fprint(conn, tt.response)
 				close(responded)
-				if len(tt.told) == 0 || tt.told[0] != balance.ListFailed {
+				if len(tt.want) == 0 || tt.want[0] != balance.ListFailed {
 					_, _ = io.Copy(io.Discard, conn)
 				}
 				fmt.Fprint(conn, chunked(fullList43, ""))
@@ -60,60 +56,58 @@
 			}, countCall)
 			sink := make(unbufferedSink)
 			watcher := New(oldAddr, sink)
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() { defer close(ended); watcher.Run(ctx, Update{Generation: 41}) }()
-			defer func() { cancel(); <-ended }()
+			defer runWatcher(t.Context(), watcher)()
 			watcher.Subscribe()
-			if tt.before {
-				watcher.SetAddress(newAddr) // Run still stands at the known list
+			if tt.beforeCall {
+				watcher.SetAddress(newAddr) // Run is still blocked at the cached list
 			}
 			<-sink
-			if !tt.before {
+			if !tt.beforeCall {
 				<-responded
-				for _, want := range tt.told {
+				for _, want := range tt.want {
 					if update := <-sink; update.Kind != want {
-						t.Errorf("told %+v, want kind %d", update, want)
+						t.Errorf("got %+v, want kind %d", update, want)
 					}
 				}
 				watcher.SetAddress(newAddr)
 			}
 			for _, want := range []balance.ListKind{balance.ListFull, balance.ListFailed} {
 				if update := <-sink; update.Kind != want || update.Generation != 7 {
-					t.Errorf("told %+v, want the new service's, kind %d", update, want)
+					t.Errorf("got %+v, want the new service's, kind %d", update, want)
 				}
 			}
-			if !tt.before {
+			if !tt.beforeCall {
 				<-oldCallEnded
 			}
 			if request := <-calls; !strings.Contains(request, "from=0 ") || len(calls) > 0 {
-				t.Errorf("request %q and %d more, want one for all", request, len(calls))
+				t.Errorf("request %q and %d more, want one for the complete list", request, len(calls))
 			}
 		})
 	}
 }
 
-// A connection that is reset costs what did not come whole, is told as one failure, and the
-// next call asks from behind the last that did.
+// A connection that is reset costs the message that is not complete, is reported as one failure,
+// and the next call resumes after the last complete message.
 func TestConnectionResetResumesAfterLastCompleteList(t *testing.T) {
+	indentedList43 := strings.ReplaceAll(fullList43, ",", ",\n\t")
 	for name, tt := range map[string]struct {
-		says string
-		from string // of the next call
+		response string
+		from     string // of the next call
 	}{
-		"before the head":         {"", "from=41 "},
-		"in the head":             {responseHead[:40], "from=41 "},
-		"behind the head":         {responseHead, "from=41 "},
-		"in the first line":       {responseHead + chunked(fullList43[:70], ""), "from=41 "},
-		"in a chunk":              {responseHead + chunked(fullList43, "")[:70], "from=41 "},
-		"behind a list, no end":   {responseHead + chunked(fullList43, "")[:len(fullList43)+3], "from=43 "},
-		"in the line behind":      {responseHead + chunked(fullList43+fullList43[:70], ""), "from=43 "},
-		"in an indented list":     {responseHead + chunked(strings.ReplaceAll(fullList43, ",", ",\n\t")[:90], ""), "from=41 "},
-		"behind an indented list": {responseHead + chunked(strings.ReplaceAll(fullList43, ",", ",\n\t"), ""), "from=43 "},
+		"before the header":      {"", "from=41 "},
+		"in the header":          {responseHead[:40], "from=41 "},
+		"after the header":       {responseHead, "from=41 "},
+		"in the first line":      {responseHead + chunked(fullList43[:70], ""), "from=41 "},
+		"in a chunk":             {responseHead + chunked(fullList43, "")[:70], "from=41 "},
+		"after a list, no end":   {responseHead + chunked(fullList43, "")[:len(fullList43)+3], "from=43 "},
+		"in the next line":       {responseHead + chunked(fullList43+fullList43[:70], ""), "from=43 "},
+		"in an indented list":    {responseHead + chunked(indentedList43[:90], ""), "from=41 "},
+		"after an indented list": {responseHead + chunked(indentedList43, ""), "from=43 "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listReceived, requests := make(chan struct{}), make(chan string, 1)
 			watcher, sink := startWatcher(t, func(conn net.Conn, _ string) {
-				fmt.Fprint(conn, tt.says)
+				fmt.Fprint(conn, tt.response)
 				if tt.from == "from=43 " {
 					<-listReceived // a reset may take with it what has not been read
 				}
@@ -123,12 +117,12 @@
 			watcher.Subscribe()
 			if tt.from == "from=43 " {
 				if update := sink.next(t); update.Kind != balance.ListFull || update.Generation != 43 {
-					t.Errorf("told %+v, want the list", update)
+					t.Errorf("got %+v, want the list", update)
 				}
 				close(listReceived)
 			}
 			if update := sink.next(t); update.Kind != balance.ListFailed {
-				t.Errorf("told %+v, want a failure", update)
+				t.Errorf("got %+v, want a failure", update)
 			}
 			watcher.Subscribe()
 			if request := <-requests; !strings.Contains(request, tt.from) {
@@ -138,9 +132,9 @@
 	}
 }
 
-// A call that is late is told as failed, and goes on beside the next one, which is made when
-// it is asked for. The first whole list wins and the other call ends; a third is not made. A
-// call that says nothing but that nothing has changed is not late.
+// A call that is overdue is reported as failed, and goes on beside the next one, which is made
+// when it is requested. The first complete list wins and the other call ends; a third is not
+// made. A call that sends nothing but heartbeats is not overdue.
 func TestOverdueCallCompetesWithItsSuccessor(t *testing.T) {
 	for winner := range 2 {
 		synctest.Test(t, func(t *testing.T) {
@@ -156,9 +150,7 @@
 				go func() { _, _ = io.Copy(io.Discard, reader); closed[i].Store(true) }()
 				return watcherSide, nil
 			}
-			ctx, cancel := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() { defer close(ended); watcher.Run(ctx, Update{Generation: 41}) }()
+			end := runWatcher(t.Context(), watcher)
 			poll := func(calls int) {
 				t.Helper()
 				watcher.Subscribe()
@@ -171,7 +163,7 @@
 				t.Helper()
 				startedAt := time.Now()
 				if update := <-sink; update.Kind != kind || time.Since(startedAt) != after {
-					t.Fatalf("told %+v after %v, want kind %d after %v", update, time.Since(startedAt), kind, after)
+					t.Fatalf("got %+v after %v, want kind %d after %v", update, time.Since(startedAt), kind, after)
 				}
 			}
 			expect(balance.ListCached, 0)
@@ -181,10 +173,10 @@
 			conns[0].Close()
 			expect(balance.ListFailed, 0)
 			poll(2)
-			poll(2) // it is not late yet
+			poll(2) // it is not overdue yet
 			expect(balance.ListFailed, responseTimeout)
 			poll(3)
-			poll(3) // two are enough
+			poll(3) // two are the most
 			_, _ = io.WriteString(conns[1+winner], responseHead+chunked(strings.Replace(fullList43, "43", "44", 1), ""))
 			expect(balance.ListFull, 0)
 			synctest.Wait()
@@ -195,14 +187,13 @@
 			expect(balance.ListFailed, heartbeatTimeout)
 			poll(4)
 			_, _ = io.WriteString(conns[3], responseHead+chunked("\n", ""))
-			for range 3 { // nothing has changed: it is quiet, and not late
+			for range 3 { // nothing has changed: only heartbeats, and not overdue
 				time.Sleep(heartbeatInterval)
 				poll(4)
 				_, _ = io.WriteString(conns[3], chunked("\n", ""))
 			}
 			expect(balance.ListFailed, heartbeatTimeout)
-			cancel()
-			<-ended
+			end()
 			for _, c := range conns {
 				c.Close()
 			}
--- /dev/null
+++ b/internal/discovery/request.go
@@ -0,0 +1,40 @@
+package discovery
+
+import (
+	"fmt"
+	"io"
+	"net/http/httputil"
+	"strings"
+	"time"
+
+	"coralrelay/internal/bufconn"
+)
+
+// sendRequest sends the request and reads the response's header until the deadline. It returns
+// the response's body.
+func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (io.Reader, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	err := conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
+		c.fromGeneration, c.addr)
+	if err != nil {
+		return nil, err
+	}
+	status, err := conn.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	version, code, _ := strings.Cut(status, " ")
+	if !strings.HasPrefix(version, "HTTP/1.") || !strings.HasPrefix(code, "200") {
+		return nil, fmt.Errorf("unexpected response status %.60q", status)
+	}
+	header, err := conn.ReadMIMEHeader()
+	if err != nil {
+		return nil, fmt.Errorf("response header: %w", err)
+	}
+	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
+		return httputil.NewChunkedReader(conn.R), nil
+	}
+	return conn.R, nil
+}
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -16,17 +16,16 @@
 	"coralrelay/balance"
 )
 
-// watched is what a watch tells of one answer's body, written piece by piece with a
-// pause behind each, and when. The answer ends with its pieces if ends is set.
-func streamUpdates(t *testing.T, pieces []string, pause time.Duration, closes bool) (got []Update, times []time.Duration) {
+// streamUpdates returns the updates of one response, written in pieces with a pause after each,
+// and when they came. The connection closes after the last piece if closes is set.
+func streamUpdates(t *testing.T, pieces []string, pause time.Duration, closes bool) (
+	got []Update, times []time.Duration) {
 	t.Helper()
 	watcherSide, serviceSide := net.Pipe()
 	sink := make(bufferedSink, 64)
 	watcher := New("discovery:1", sink)
 	watcher.Dial = func(context.Context, string, time.Time) (net.Conn, error) { return watcherSide, nil }
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan struct{})
-	go func() { defer close(ended); watcher.Run(ctx, Update{Generation: 41}) }()
+	end := runWatcher(t.Context(), watcher)
 	startedAt := time.Now()
 	go func() {
 		if request, _ := bufio.NewReader(serviceSide).ReadString('\n'); !strings.Contains(request, "from=41 ") {
@@ -44,26 +43,22 @@
 		}
 	}()
 	watcher.Subscribe()
-	<-sink // the known list
+	<-sink // the cached list
 	for len(got) == 0 || got[len(got)-1].Kind != balance.ListFailed {
 		got, times = append(got, <-sink), append(times, time.Since(startedAt))
 	}
-	cancel()
-	<-ended
+	end()
 	serviceSide.Close()
 	return got, times
 }
 
-func chunked(text string, extension string) string {
-	return fmt.Sprintf("%x%s\r\n%s\r\n", len(text), extension, text)
-}
-
-// A list may be indented, chunks may cut it anywhere, and hold several. What comes whole
-// is told, in order; what does not costs itself alone, and the next call begins behind
-// the last that came whole.
+// A message may be indented, chunks may cut it anywhere, and hold several. Complete messages are
+// reported, in order; an incomplete one costs itself alone, and the next call resumes after the
+// last complete one.
 func TestDecodesStreamHoweverItIsSplit(t *testing.T) {
 	const fullList = `{"generation":43,"reset":true,"instances":[` + readyInstance + "," + drainingInstance + "]}\n"
-	const removal = `{"generation":44,"reset":false,"instances":[{"instanceId":"s1","lifecycle":"left"},{"instanceId":"never","lifecycle":"left"}]}` + "\n"
+	const removal = `{"generation":44,"reset":false,"instances":[{"instanceId":"s1","lifecycle":"left"},` +
+		`{"instanceId":"never","lifecycle":"left"}]}` + "\n"
 	var indented strings.Builder
 	for _, text := range []string{fullList, removal} {
 		var tree any
@@ -81,13 +76,15 @@
 	tests := []struct {
 		name   string
 		pieces []string
-		want   int64 // the last generation that comes whole
+		want   int64 // the generation of the last complete message
 	}{
 		{"two in one chunk", []string{responseHead, chunked(fullList+removal, "")}, 44},
 		{"two in one chunk, with an extension", []string{responseHead + chunked(fullList+removal, ";sig=\"a;b\"")}, 44},
-		{"one over many chunks", []string{responseHead, chunked(fullList[:7], ""), chunked(fullList[7:60], ";x"), chunked(fullList[60:]+removal[:1], ""), chunked(removal[1:], "")}, 44},
+		{"one over many chunks", []string{responseHead, chunked(fullList[:7], ""), chunked(fullList[7:60], ";x"),
+			chunked(fullList[60:]+removal[:1], ""), chunked(removal[1:], "")}, 44},
 		{"a chunk for each byte", singleBytes, 44},
-		{"head and chunks in odd pieces", []string{responseHead[:9], responseHead[9:] + "1", "\r", "\n{\r\n" + chunked(fullList[1:]+removal, "")}, 44},
+		{"header and chunks in odd pieces", []string{responseHead[:9], responseHead[9:] + "1", "\r",
+			"\n{\r\n" + chunked(fullList[1:]+removal, "")}, 44},
 		{"indented", []string{responseHead, chunked(indented.String(), "")}, 44},
 		{"not chunked", []string{plainHead + fullList, "\n", removal}, 44},
 		{"cut off in a list", []string{responseHead, chunked(fullList, ""), chunked(removal[:50], "")}, 43},
@@ -110,24 +107,25 @@
 				}
 				want = append(want, Update{Kind: balance.ListFailed, Generation: tt.want})
 				if !reflect.DeepEqual(got, want) {
-					t.Errorf("told %+v\nwant %+v", got, want)
+					t.Errorf("got %+v\nwant %+v", got, want)
 				}
 			})
 		})
 	}
 }
 
-// Each byte shows that a watch lives, wherever in a chunk it stands. A whole list is told
-// when its last byte is there, though its chunk goes on.
+// Each byte keeps a watch alive, wherever in a chunk it is. A complete list is reported when its
+// last byte has come, though its chunk goes on.
 func TestEveryByteKeepsWatchAlive(t *testing.T) {
 	const fullList = `{"generation":43,"reset":true,"instances":[` + readyInstance + "]}\n"
 	chunk := chunked(fullList+"\n\n\n", "")
 	pieces := []string{responseHead, chunk[:20], chunk[20:40], chunk[40 : len(chunk)-4], chunk[len(chunk)-4:]}
 	synctest.Test(t, func(t *testing.T) {
-		got, times := streamUpdates(t, pieces, heartbeatTimeout-time.Millisecond, false)
-		want := []time.Duration{3 * (heartbeatTimeout - time.Millisecond), 4*(heartbeatTimeout-time.Millisecond) + heartbeatTimeout}
+		const pause = heartbeatTimeout - time.Millisecond
+		got, times := streamUpdates(t, pieces, pause, false)
+		want := []time.Duration{3 * pause, 4*pause + heartbeatTimeout}
 		if len(got) != 2 || got[0].Generation != 43 || !reflect.DeepEqual(times, want) {
-			t.Errorf("told %+v at %v, want one list and the end at %v", got, times, want)
+			t.Errorf("got %+v at %v, want one list and the end at %v", got, times, want)
 		}
 	})
 }
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -1,4 +1,3 @@
-// Package roster follows discovery's list of next hops.
 package discovery
 
 import (
@@ -12,20 +11,20 @@
 	"coralrelay/balance"
 )
 
-// Entry is one next hop and where it is.
+// Endpoint is one entry of the endpoint list, with its address.
 type Endpoint struct {
 	balance.ServerEntry
-	Addr string
+	Addr string // HOST:PORT; empty in a change that leaves the known address
 }
 
-// Update is one message of discovery.
+// Update is one message of the discovery service: a complete list or changes to it.
 type Update struct {
 	Kind       balance.ListKind
-	Generation int64
+	Generation int64 // of the list after this update
 	Endpoints  []Endpoint
 }
 
-// List returns the update as the module takes it.
+// ListUpdate returns the update as the decision module takes it.
 func (u Update) ListUpdate() balance.ListUpdate {
 	list := balance.ListUpdate{Kind: u.Kind}
 	for _, endpoint := range u.Endpoints {
@@ -34,13 +33,14 @@
 	return list
 }
 
-// message is discovery's form of a list or a change.
+// message is the JSON form of an update. Reset marks a complete list.
 type message struct {
 	Generation *int64            `json:"generation"`
 	Reset      bool              `json:"reset"`
 	Instances  []json.RawMessage `json:"instances"`
 }
 
+// instance is the JSON form of an endpoint.
 type instance struct {
 	ID          string `json:"instanceId"`
 	HostPort    string `json:"hostPort"`
@@ -51,11 +51,13 @@
 }
 
 var lifecycleStates = map[string]balance.ServerState{
-	"active": balance.Ready, "leaving": balance.Draining, "left": balance.Gone,
+	"active":  balance.Ready,
+	"leaving": balance.Draining,
+	"left":    balance.Gone,
 }
 
-// Decode reads a message. Malformed entries are skipped and logged: one of them
-// must not cost the rest of the list.
+// Decode reads a message. It fails if the message as a whole is malformed; malformed entries are
+// skipped and logged, as one of them must not cost the rest of the list.
 func Decode(raw []byte) (Update, error) {
 	var decoded message
 	if err := json.Unmarshal(raw, &decoded); err != nil {
@@ -64,12 +66,13 @@
 	return decoded.update()
 }
 
+// update converts the message; see Decode.
 func (m *message) update() (Update, error) {
 	if m.Generation == nil {
 		return Update{}, errors.New("list: generation is missing")
 	}
 	if m.Reset && m.Instances == nil {
-		return Update{}, errors.New("list: instances is missing") // not the same as none
+		return Update{}, errors.New("list: instances is missing") // not the same as an empty list
 	}
 	update := Update{Kind: balance.ListDelta, Generation: *m.Generation}
 	if m.Reset {
@@ -78,7 +81,7 @@
 	for _, raw := range m.Instances {
 		endpoint, err := decodeEndpoint(raw)
 		if err != nil {
-			slog.Warn("roster entry skipped", "err", err)
+			slog.Warn("endpoint list entry skipped", "component", "discovery", "error", err)
 			continue
 		}
 		update.Endpoints = append(update.Endpoints, endpoint)
@@ -86,12 +89,14 @@
 	return update, nil
 }
 
+// decodeEndpoint reads an entry. Of an endpoint that drains or is gone only the id is needed: the
+// rest may be malformed.
 func decodeEndpoint(raw json.RawMessage) (Endpoint, error) {
 	var decoded instance
 	decodeErr := json.Unmarshal(raw, &decoded)
 	state, ok := lifecycleStates[decoded.Lifecycle]
 	switch {
-	case decodeErr != nil && (!ok || state == balance.Ready): // of one that leaves the rest tells nothing
+	case decodeErr != nil && (!ok || state == balance.Ready):
 		return Endpoint{}, fmt.Errorf("entry %.80q: %w", raw, decodeErr)
 	case !ok || decoded.ID == "":
 		return Endpoint{}, fmt.Errorf("entry %.80q: unknown lifecycle or no instanceId", raw)
@@ -100,8 +105,16 @@
 		if state == balance.Ready {
 			return Endpoint{}, fmt.Errorf("entry %s: hostPort: %w", decoded.ID, err)
 		}
-		decoded.HostPort = "" // it stays at the address that is known
+		decoded.HostPort = "" // the known address stays
 	}
-	return Endpoint{Addr: decoded.HostPort, ServerEntry: balance.ServerEntry{ID: decoded.ID, Zone: decoded.Zone, Cell: decoded.Cell,
-		State: state, StartedAt: time.Duration(decoded.StartedAtMs) * time.Millisecond}}, nil
+	return Endpoint{
+		Addr: decoded.HostPort,
+		ServerEntry: balance.ServerEntry{
+			ID:        decoded.ID,
+			Zone:      decoded.Zone,
+			Cell:      decoded.Cell,
+			State:     state,
+			StartedAt: time.Duration(decoded.StartedAtMs) * time.Millisecond,
+		},
+	}, nil
 }
--- /dev/null
+++ b/internal/discovery/update_test.go
@@ -0,0 +1,67 @@
+package discovery
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+)
+
+const (
+	readyInstance = `{"instanceId":"s1","hostPort":"127.1.0.1:7070","zone":"a","machineType":"m","cell":3,` +
+		`"lifecycle":"active","weight":1.5,"startedAtMs":1796122725000}`
+	drainingInstance = `{"instanceId":"s2","hostPort":"127.1.0.2:7070","zone":"b","lifecycle":"leaving",` +
+		`"weight":1,"startedAtMs":0}`
+	goneInstance = `{"instanceId":"s3","hostPort":"127.1.0.3:7070","zone":"c","machineType":"m","cell":4,` +
+		`"lifecycle":"left","weight":2,"startedAtMs":7}`
+)
+
+func TestDecode(t *testing.T) {
+	s1 := Endpoint{Addr: "127.1.0.1:7070", ServerEntry: balance.ServerEntry{
+		ID: "s1", Zone: "a", Cell: 3, StartedAt: 1796122725 * time.Second}}
+	s2 := Endpoint{Addr: "127.1.0.2:7070", ServerEntry: balance.ServerEntry{
+		ID: "s2", Zone: "b", State: balance.Draining}}
+	s3 := Endpoint{Addr: "127.1.0.3:7070", ServerEntry: balance.ServerEntry{
+		ID: "s3", Zone: "c", Cell: 4, State: balance.Gone, StartedAt: 7 * time.Millisecond}}
+	gone := Endpoint{ServerEntry: balance.ServerEntry{ID: "s3", State: balance.Gone}}
+	s9 := Endpoint{ServerEntry: balance.ServerEntry{ID: "s9", State: balance.Draining}}
+	changes := func(instances string) string {
+		return `{"generation":43,"instances":[` + instances + "," + drainingInstance + `]}`
+	}
+	skipped := Update{balance.ListDelta, 43, []Endpoint{s2}}
+	kept := Update{balance.ListDelta, 43, []Endpoint{s9, s2}}
+	tests := []struct {
+		name, raw string
+		want      Update // no generation: malformed as a whole
+	}{
+		{"complete list",
+			`{"generation":41,"reset":true,"instances":[` + readyInstance + "," + drainingInstance + `]}`,
+			Update{balance.ListFull, 41, []Endpoint{s1, s2}}},
+		{"changes",
+			`{"generation":42,"instances":[{"instanceId":"s3","lifecycle":"left"}]}`,
+			Update{balance.ListDelta, 42, []Endpoint{gone}}},
+		{"changes with every field",
+			`{"generation":42,"reset":false,"instances":[` + readyInstance + "," + drainingInstance + "," + goneInstance + `]}`,
+			Update{balance.ListDelta, 42, []Endpoint{s1, s2, s3}}},
+		{"nothing", `{"generation":42,"reset":false,"instances":[]}`, Update{balance.ListDelta, 42, nil}},
+		{"unknown lifecycle", changes(`{"instanceId":"s9","hostPort":"h:1","lifecycle":"asleep"}`), skipped},
+		{"no id", changes(`{"hostPort":"h:1","lifecycle":"active"}`), skipped},
+		{"no address", changes(`{"instanceId":"s9","hostPort":"h","lifecycle":"active"}`), skipped},
+		{"no object", changes(`7,null,"x"`), skipped},
+		{"wrong type", changes(`{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"}`), skipped},
+		{"drains, without an address", changes(`{"instanceId":"s9","lifecycle":"leaving"}`), kept},
+		{"drains, wrong type", changes(`{"instanceId":"s9","lifecycle":"leaving","cell":"x"}`), kept},
+		{"no generation", `{"instances":[]}`, Update{}},
+		{"complete list without instances", `{"generation":44,"reset":true}`, Update{}},
+		{"no JSON", `{`, Update{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := Decode([]byte(tt.raw))
+			if (err == nil) != (tt.want.Generation != 0) || err == nil && !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -11,45 +11,53 @@
 	"coralrelay/balance"
 )
 
-// Sink is told what the roster says, in order.
+// Sink receives the updates of a Watcher in order, on the goroutine of Run.
 type Sink interface {
-	UpdateEndpoints(u Update)
+	UpdateEndpoints(update Update)
 }
 
-// Watch follows discovery. It makes one call at a time, each when it is asked to: what
-// fails is told, and somebody else decides when to ask again. A call that is late is told
-// as failed and goes on: the next one is made beside it, and the first whole list wins.
+// Watcher follows the endpoint list. It makes one call at a time, each when Subscribe asks for
+// it: a failure is reported, and somebody else decides when to poll again. A call that is overdue
+// is reported as failed but goes on: the next one is made beside it, and the first complete list
+// of the two wins.
 type Watcher struct {
-	// Dial connects to an address by a deadline, over TCP unless a test has another way.
-	// Set before Run.
+	// Dial connects to an address by a deadline, over TCP unless a test replaces it. Set
+	// before Run.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 
 	sink           Sink
-	pollRequested  chan struct{}
-	addressChanged chan struct{}
-	events         chan event
+	pollRequested  chan struct{} // holds one if a poll is wanted
+	addressChanged chan struct{} // holds one if addr has changed since takeAddress
+	events         chan event    // of calls
 
 	mu   sync.Mutex
 	addr string
 
-	// What follows belongs to Run's goroutine.
-	polledAddr     string     // the address that from is of
-	lastGeneration int64      // the last generation seen there
-	nextReason     callReason // why the next call is made
-	calls          []*call    // under way, at most two; all but the last are told as failed
+	// The fields below belong to Run's goroutine.
+	polledAddr     string     // of the latest call
+	lastGeneration int64      // of the last list from there
+	nextReason     callReason // of the next call
+	calls          []*call    // under way, at most two; all but the last are reported as failed
 	callGroup      sync.WaitGroup
 }
 
-// New returns a Watch of the discovery service at addr.
+// New returns a Watcher of the discovery service at addr; Run starts it.
 func New(addr string, sink Sink) *Watcher {
-	return &Watcher{Dial: dial, addr: addr, polledAddr: addr, sink: sink, events: make(chan event),
-		pollRequested: make(chan struct{}, 1), addressChanged: make(chan struct{}, 1)}
+	return &Watcher{
+		Dial:           dial,
+		sink:           sink,
+		pollRequested:  make(chan struct{}, 1),
+		addressChanged: make(chan struct{}, 1),
+		events:         make(chan event),
+		addr:           addr,
+		polledAddr:     addr,
+	}
 }
 
-// Subscribe asks for a watch.
+// Subscribe requests a call, unless one is under way. It returns at once.
 func (w *Watcher) Subscribe() { signal(w.pollRequested) }
 
-// note leaves word on a channel that holds one.
+// signal puts a signal into a channel that holds one.
 func signal(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
@@ -57,8 +65,8 @@
 	}
 }
 
-// Follow goes over to the discovery service at addr at once. The list stays; the
-// end of the old watch is no failure and is not told.
+// SetAddress changes over to the discovery service at addr at once. The list stays; the end of
+// the old watch is not a failure and is not reported.
 func (w *Watcher) SetAddress(addr string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,24 +76,17 @@
 	}
 }
 
-// Run serves subscriptions until ctx ends. It starts with the list that the
-// node had last, which may be old.
-func (w *Watcher) Run(ctx context.Context, known Update) {
+// Run makes the calls that are requested until ctx ends. The first update that it reports is the
+// cached list, which may be old.
+func (w *Watcher) Run(ctx context.Context, cached Update) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer w.callGroup.Wait()
 	defer cancel()
-	known.Kind = balance.ListCached
-	w.lastGeneration = known.Generation
-	w.sink.UpdateEndpoints(known)
+	cached.Kind = balance.ListCached
+	w.lastGeneration = cached.Generation
+	w.sink.UpdateEndpoints(cached)
 	for {
-		pollRequested, overdue := w.pollRequested, (<-chan time.Time)(nil)
-		if len(w.calls) > 0 {
-			if last := w.calls[len(w.calls)-1]; !last.failureReported {
-				pollRequested, overdue = nil, last.overdue
-			} else if len(w.calls) > 1 {
-				pollRequested = nil // until one of them ends
-			}
-		}
+		pollRequested, overdue := w.awaited()
 		select {
 		case <-ctx.Done():
 			return
@@ -95,13 +96,29 @@
 			w.startCall(ctx)
 		case <-overdue:
 			w.reportFailure(w.calls[len(w.calls)-1], errOverdue)
-		case event := <-w.events:
-			w.handleEvent(event)
+		case reported := <-w.events:
+			w.handleEvent(reported)
 		}
 	}
 }
 
-// address returns where to ask. Who asks there has done what was left to do of a move.
+// awaited returns the channels that Run waits for besides its others: a requested poll, unless a
+// call is under way that is not reported as failed, or two are; and the moment when the last
+// call is overdue. A channel that is nil is not waited for.
+func (w *Watcher) awaited() (pollRequested <-chan struct{}, overdue <-chan time.Time) {
+	if len(w.calls) == 0 {
+		return w.pollRequested, nil
+	}
+	if last := w.calls[len(w.calls)-1]; !last.failureReported {
+		return nil, last.overdue
+	}
+	if len(w.calls) > 1 {
+		return nil, nil // until one of them ends
+	}
+	return w.pollRequested, nil
+}
+
+// takeAddress returns where to poll, and clears the signal that it has changed.
 func (w *Watcher) takeAddress() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -112,7 +129,7 @@
 	return w.addr
 }
 
-// move goes over to another address, unless what is under way is there already.
+// switchAddress calls the new address, unless a call that is under way is there already.
 func (w *Watcher) switchAddress(ctx context.Context) {
 	addr := w.takeAddress()
 	if slices.ContainsFunc(w.calls, func(c *call) bool { return c.addr == addr }) {
@@ -122,15 +139,20 @@
 	w.startCall(ctx)
 }
 
-// begin makes a call. None stays at another address.
+// startCall starts a call and ends those to another address.
 func (w *Watcher) startCall(ctx context.Context) {
 	if addr := w.takeAddress(); addr != w.polledAddr {
-		// Generations of two services need not be of one count: asked from the old one's,
+		// The generations of two services need not be comparable: polled from the old one's,
 		// the new one might leave changes out.
 		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonWatchEnded
 		w.cancelAllBut(nil)
 	}
-	started := &call{addr: w.polledAddr, fromGeneration: w.lastGeneration, reason: w.nextReason, events: w.events}
+	started := &call{
+		addr:           w.polledAddr,
+		fromGeneration: w.lastGeneration,
+		events:         w.events,
+		reason:         w.nextReason,
+	}
 	ctx, started.cancel = context.WithCancel(ctx)
 	if started.reason == reasonWatchEnded {
 		started.listDeadline, started.overdue = time.Now().Add(responseTimeout), time.After(responseTimeout)
@@ -139,7 +161,7 @@
 	w.callGroup.Go(func() { started.run(ctx, w.Dial) })
 }
 
-// keep ends all calls but one.
+// cancelAllBut ends all calls but one, which may be nil.
 func (w *Watcher) cancelAllBut(kept *call) {
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
 		if c != kept {
@@ -149,35 +171,36 @@
 	})
 }
 
-// take handles what a call says, unless it has been ended since.
-func (w *Watcher) handleEvent(event event) {
-	index := slices.Index(w.calls, event.call)
+// handleEvent handles an event of a call, unless the call was cancelled since.
+func (w *Watcher) handleEvent(reported event) {
+	index := slices.Index(w.calls, reported.call)
 	if index < 0 {
 		return
 	}
-	switch c := event.call; {
-	case event.err != nil:
+	switch c := reported.call; {
+	case reported.err != nil:
 		c.cancel()
 		w.calls = slices.Delete(w.calls, index, index+1)
-		w.reportFailure(c, event.err)
-	case event.progress == progressHeader:
+		w.reportFailure(c, reported.err)
+	case reported.progress == progressHeader:
 		c.overdue = nil
-	case event.progress == progressFirstByte && c.reason == reasonWatchEnded:
+	case reported.progress == progressFirstByte && c.reason == reasonWatchEnded:
 		c.overdue = time.After(time.Until(c.listDeadline))
-	case event.progress == progressFirstByte:
+	case reported.progress == progressFirstByte:
 		if c.reason == reasonCallFailed {
 			c.overdue = time.After(responseTimeout)
 		}
 	default:
 		w.cancelAllBut(c)
 		c.overdue, c.failureReported, c.watching = nil, false, true
-		w.lastGeneration, w.nextReason = event.update.Generation, reasonWatchEnded
-		w.sink.UpdateEndpoints(event.update)
+		w.lastGeneration, w.nextReason = reported.update.Generation, reasonWatchEnded
+		w.sink.UpdateEndpoints(reported.update)
 	}
 }
 
-// fail tells of a failure, once for each call. Only who is told of it asks again: what was
-// asked for before is void, or two calls would follow without a pause.
+// reportFailure reports that a call has failed, once for each call. Whoever receives the report
+// decides when to poll again; a poll that was requested before is void, or two calls would follow
+// one another without a pause.
 func (w *Watcher) reportFailure(c *call, err error) {
 	if c.failureReported {
 		return
@@ -187,11 +210,11 @@
 		w.nextReason = reasonCallFailed
 	}
 	w.discardPollRequest()
-	slog.Warn("watch ended", "discovery", c.addr, "err", err)
+	slog.Warn("endpoint list watch ended", "component", "discovery", "address", c.addr, "error", err)
 	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration})
 }
 
-// forget voids what was asked for.
+// discardPollRequest voids a requested poll.
 func (w *Watcher) discardPollRequest() {
 	select {
 	case <-w.pollRequested:
