--- a/internal/fleet/gossip/delegate.go
+++ b/internal/fleet/gossip/delegate.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"encoding/json"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/hashicorp/memberlist"
@@ -8,48 +10,81 @@
 	"coralrelay/internal/fleet/quota"
 )
 
-// broadcast is a report on its way; a later one of the same member takes its place.
+// broadcast is a queued message; a later one of the same name replaces it.
 type broadcast struct {
 	name    string
 	payload []byte
 }
 
+// Invalidates implements memberlist.Broadcast.
 func (b *broadcast) Invalidates(other memberlist.Broadcast) bool {
 	queued, ok := other.(*broadcast)
 	return ok && queued.name == b.name
 }
-func (b *broadcast) Name() string    { return b.name }
+
+// Name implements memberlist.NamedBroadcast.
+func (b *broadcast) Name() string { return b.name }
+
+// Message implements memberlist.Broadcast.
 func (b *broadcast) Message() []byte { return b.payload }
-func (b *broadcast) Finished()       {}
 
-// delegate is what memberlist calls.
+// Finished implements memberlist.Broadcast.
+func (b *broadcast) Finished() {}
+
+// delegate receives memberlist's calls.
 type delegate struct {
 	member       *Member
 	meta         []byte
-	aliveMembers atomic.Int64 // members that are alive
+	aliveMembers atomic.Int64
 	queue        memberlist.TransmitLimitedQueue
 }
 
+func newDelegate(member *Member, retransmitMult int) (*delegate, error) {
+	meta, err := json.Marshal(nodeMetadata{member.Zone, member.ReplogAddress})
+	if err != nil {
+		return nil, fmt.Errorf("fleet: encode the node's metadata: %w", err)
+	}
+	d := &delegate{member: member, meta: meta}
+	d.queue.RetransmitMult = retransmitMult
+	// Not memberlist's own count: this is called under the queue's lock, while memberlist calls
+	// NotifyJoin, which may queue, under the lock of that count.
+	d.queue.NumNodes = func() int { return int(max(d.aliveMembers.Load(), 1)) }
+	return d, nil
+}
+
+// NodeMeta implements memberlist.Delegate.
 func (d *delegate) NodeMeta(int) []byte { return d.meta }
+
+// NotifyMsg implements memberlist.Delegate.
 func (d *delegate) NotifyMsg(raw []byte) {
 	if !d.member.deliver(raw) {
 		d.member.Receive(raw)
 	}
 }
 
+// GetBroadcasts implements memberlist.Delegate.
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	return d.queue.GetBroadcasts(overhead, limit)
 }
-func (d *delegate) LocalState(bool) []byte              { return d.member.encodeState() }
+
+// LocalState implements memberlist.Delegate.
+func (d *delegate) LocalState(bool) []byte { return d.member.encodeState() }
+
+// MergeRemoteState implements memberlist.Delegate.
 func (d *delegate) MergeRemoteState(raw []byte, _ bool) { d.member.receiveState(raw) }
 
+// NotifyJoin implements memberlist.EventDelegate.
 func (d *delegate) NotifyJoin(node *memberlist.Node) {
 	d.aliveMembers.Add(1)
 	d.member.SetMemberStatus(node.Name, quota.Alive, node.Meta)
 }
+
+// NotifyUpdate implements memberlist.EventDelegate.
 func (d *delegate) NotifyUpdate(node *memberlist.Node) {
 	d.member.SetMemberStatus(node.Name, quota.Alive, node.Meta)
 }
+
+// NotifyLeave implements memberlist.EventDelegate.
 func (d *delegate) NotifyLeave(node *memberlist.Node) {
 	d.aliveMembers.Add(-1)
 	if node.State == memberlist.StateLeft {
--- a/internal/fleet/gossip/membership.go
+++ b/internal/fleet/gossip/membership.go
@@ -9,39 +9,41 @@
 	"time"
 
 	"coralrelay/internal/fleet/quota"
-	"coralrelay/internal/fleet/zonestatus"
 )
 
-// place is what membership carries of a member, before it has said anything: memberlist
-// keeps it within 512 bytes.
+// maxReplogAddressBytes is the longest address of a replicated log that is accepted.
+const maxReplogAddressBytes = 64
+
+// nodeMetadata is what membership itself carries of a member, before its first report.
+// memberlist limits it to 512 bytes.
 type nodeMetadata struct {
 	Zone          string `json:"zone,omitempty"`
 	ReplogAddress string `json:"record,omitempty"`
 }
 
-// sound tells whether it can be true: it comes from outside.
-func (p nodeMetadata) isValid() bool {
-	return len(p.Zone) <= maxZoneNameBytes && len(p.ReplogAddress) <= 64
+// isValid is whether metadata of another member can be right.
+func (n nodeMetadata) isValid() bool {
+	return len(n.Zone) <= maxZoneNameBytes && len(n.ReplogAddress) <= maxReplogAddressBytes
 }
 
-// Standing is what is known of a member.
+// MemberInfo is what is known of a member.
 type MemberInfo struct {
 	Name          string       `json:"name"`
 	Zone          string       `json:"zone,omitempty"`
 	Status        quota.Status `json:"-"`
-	ReplogAddress string       `json:"record,omitempty"` // where it serves the record
-	LogIndex      uint64       `json:"index,omitempty"`  // as it last said
-	ReportedAtMs  int64        `json:"at,omitempty"`     // Unix ms of its last word, by its clock
+	ReplogAddress string       `json:"record,omitempty"` // where it serves the replicated log
+	LogIndex      uint64       `json:"index,omitempty"`  // of its replicated log, by its last report
+	ReportedAtMs  int64        `json:"at,omitempty"`     // of its last report, Unix ms by its clock
 }
 
-// Saw takes news of membership.
+// SetMemberStatus takes a change of membership, with the member's metadata.
 func (m *Member) SetMemberStatus(name string, status quota.Status, meta []byte) {
 	var metadata nodeMetadata
 	if err := json.Unmarshal(meta, &metadata); len(meta) > 0 && err != nil || !metadata.isValid() {
-		slog.Warn("fleet: a member's place can't be read", "name", name, "err", err)
+		slog.Warn("malformed metadata of a member", "component", "gossip", "member", name, "error", err)
 		metadata = nodeMetadata{}
 	}
-	slog.Info("fleet: member", "name", name, "status", status, "zone", metadata.Zone)
+	slog.Info("member status changed", "component", "gossip", "member", name, "status", status, "zone", metadata.Zone)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.quotaState.SetMemberStatus(m.clock(), name, status)
@@ -50,15 +52,23 @@
 	}
 }
 
-// forget drops what is known of members that share forgets.
+// removeExpired removes what is known of members that package quota has forgotten. The caller
+// holds the lock.
 func (m *Member) removeExpired(now time.Duration) {
 	m.quotaState.RemoveExpired(now)
 	known := m.quotaState.Members()
-	gone := func(name string) bool { _, ok := known[name]; return !ok }
-	maps.DeleteFunc(m.metadata, func(name string, _ nodeMetadata) bool { return gone(name) })
-	maps.DeleteFunc(m.reports, func(name string, _ report) bool { return gone(name) })
-	maps.DeleteFunc(m.usages, func(name string, _ Usage) bool { return gone(name) })
-	maps.DeleteFunc(m.encodedUsages, func(name string, _ []byte) bool { return gone(name) })
+	removeUnknown(m.metadata, known)
+	removeUnknown(m.reports, known)
+	removeUnknown(m.usages, known)
+	removeUnknown(m.encodedUsages, known)
+}
+
+// removeUnknown removes the entries of all but the known members.
+func removeUnknown[T any](byMember map[string]T, known map[string]quota.Status) {
+	maps.DeleteFunc(byMember, func(name string, _ T) bool {
+		_, ok := known[name]
+		return !ok
+	})
 }
 
 // Members returns all members, this one too, by name.
@@ -66,75 +76,28 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for name, status := range m.quotaState.Members() {
-		info, latest := MemberInfo{Name: name, Status: status}, m.reports[name]
 		metadata := m.metadata[name]
 		if name == m.name {
 			metadata = nodeMetadata{m.Zone, m.ReplogAddress}
 		}
-		info.Zone, info.ReplogAddress, info.LogIndex, info.ReportedAtMs = metadata.Zone, metadata.ReplogAddress, latest.LogIndex, latest.ReportedAt.Milliseconds()
-		all = append(all, info)
+		latest := m.reports[name]
+		all = append(all, MemberInfo{
+			Name:          name,
+			Zone:          metadata.Zone,
+			Status:        status,
+			ReplogAddress: metadata.ReplogAddress,
+			LogIndex:      latest.LogIndex,
+			ReportedAtMs:  latest.ReportedAt.Milliseconds(),
+		})
 	}
-	slices.SortFunc(all, func(x, y MemberInfo) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(all, func(a, b MemberInfo) int { return cmp.Compare(a.Name, b.Name) })
 	return all
 }
 
-// Words returns what each member saw last of the zones, by name.
-func (m *Member) ZoneReports() (all []zonestatus.Report) {
+// LeaseHolders returns the members among which limits are allocated, by name.
+func (m *Member) LeaseHolders() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
-		if latest := m.reports[name]; latest.Zone != "" {
-			all = append(all, latest.zoneReport())
-		}
-	}
-	return all
-}
-
-// Own returns what this member's node saw last.
-func (m *Member) OwnZoneReport() zonestatus.Report {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	latest := m.reports[m.name]
-	latest.Member, latest.Zone = m.name, m.Zone
-	return latest.zoneReport()
-}
-
-// zones is the evidence in a word.
-func (r report) zoneReport() zonestatus.Report {
-	result := zonestatus.Report{Member: r.Member, Zone: r.Zone, ReportedAt: r.ReportedAt, Observations: make([]zonestatus.Observation, len(r.Observations))}
-	for i, observation := range r.Observations {
-		result.Observations[i] = zonestatus.Observation(observation)
-	}
-	return result
-}
-
-// all are the reports of all members, for one that has been cut off.
-func (m *Member) encodeState() []byte {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var reports []json.RawMessage
-	for _, name := range slices.Sorted(maps.Keys(m.reports)) {
-		if raw := m.reports[name].encode(); raw != nil {
-			reports = append(reports, raw)
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(m.encodedUsages)) {
-		reports = append(reports, m.encodedUsages[name])
-	}
-	raw, err := json.Marshal(reports)
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
-func (m *Member) receiveState(raw []byte) {
-	var reports []json.RawMessage
-	if err := json.Unmarshal(raw, &reports); err != nil {
-		slog.Warn("fleet: a state that can't be read", "err", err)
-		return
-	}
-	for _, encoded := range reports {
-		m.Receive(encoded)
-	}
+	m.removeExpired(m.clock())
+	return slices.Sorted(maps.Keys(m.quotaState.Members()))
 }
--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -2,96 +2,41 @@
 
 import (
 	"context"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"log"
 	"net"
 	"net/netip"
-	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/memberlist"
 )
 
-// Gossip says how a member meets the others.
-type Config struct {
-	BindAddress      string   // HOST:PORT, for TCP and UDP
-	AdvertiseAddress string   // where the others reach it, if that is elsewhere
-	Peers            []string // some other members' advertised addresses
-	KeyFile          string   // file with 32, 48 or 64 hexadecimal digits; all members have the same
-	Unencrypted      bool     // without a key: for a mutation only
-	Interval         time.Duration
-	LogOutput        io.Writer
-}
-
-// rejoin is how often members that can't be reached are looked for again.
-const rejoinInterval = 2 * time.Second
-
-// transport is memberlist's, but calls come from the address that it listens on: others
-// can tell who calls, and so can whoever stands between.
-type transport struct {
-	*memberlist.NetTransport
-	localIP net.IP
-}
-
-func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.localIP}}
-	return dialer.Dial("tcp", addr)
-}
-
-func (t *transport) DialAddressTimeout(address memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return t.DialTimeout(address.Addr, timeout)
-}
+const (
+	// rejoinInterval is how often a member tries to join peers that are missing.
+	rejoinInterval = 2 * time.Second
+	// leaveTimeout is how long a member tries to tell the others that it leaves.
+	leaveTimeout = time.Second
+	// stateSyncInterval is how often a member exchanges its complete state with another one.
+	stateSyncInterval = 10 * time.Second
+	// nameReclaimTimeout is how long after a failure a member may come back at another address.
+	nameReclaimTimeout = time.Second
+)
 
-// Run is a member until ctx ends, and then says that it leaves.
+// Run joins the other members and gossips with them until ctx ends; then it tells them that it
+// leaves.
 func (m *Member) Run(ctx context.Context, config Config) error {
-	bind, err := netip.ParseAddrPort(config.BindAddress)
+	clusterConfig, err := m.clusterConfig(config)
 	if err != nil {
-		return fmt.Errorf("fleet.bind: %w", err)
+		return err
 	}
-	logger := log.New(config.LogOutput, "", 0)
-	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{bind.Addr().String()},
-		BindPort: int(bind.Port()), Logger: logger})
+	events, err := newDelegate(m, clusterConfig.RetransmitMult)
 	if err != nil {
-		return fmt.Errorf("fleet.bind: %w", err)
-	}
-	listConfig := memberlist.DefaultLANConfig()
-	listConfig.Name, listConfig.Transport, listConfig.Logger = m.name, &transport{netTransport, net.IP(bind.Addr().AsSlice())}, logger
-	listConfig.BindAddr, listConfig.BindPort = bind.Addr().String(), int(bind.Port())
-	listConfig.AdvertiseAddr, listConfig.AdvertisePort = listConfig.BindAddr, listConfig.BindPort
-	if config.AdvertiseAddress != "" {
-		advertise, err := netip.ParseAddrPort(config.AdvertiseAddress)
-		if err != nil {
-			return fmt.Errorf("fleet.advertise: %w", err)
-		}
-		listConfig.AdvertiseAddr, listConfig.AdvertisePort = advertise.Addr().String(), int(advertise.Port())
-	}
-	if !config.Unencrypted {
-		if listConfig.SecretKey, err = ReadKey(config.KeyFile); err != nil {
-			return fmt.Errorf("fleet.key: %w", err)
-		}
+		return err
 	}
-	listConfig.GossipInterval = config.Interval
-	listConfig.ProbeInterval, listConfig.ProbeTimeout = 5*config.Interval, 5*config.Interval/2
-	// Few who are left confirm each other's suspicions late; a false one does no harm, as
-	// tokens are held for longer than that.
-	listConfig.SuspicionMaxTimeoutMult = 2
-	listConfig.PushPullInterval = 10 * time.Second
-	listConfig.DeadNodeReclaimTime = time.Second // a member may come back at another address
-	events := &delegate{member: m}
-	if events.meta, err = json.Marshal(nodeMetadata{m.Zone, m.ReplogAddress}); err != nil {
-		return fmt.Errorf("fleet: %w", err)
-	}
-	events.queue.RetransmitMult = listConfig.RetransmitMult
-	// Not the list's own count: it is asked for under the queue's lock, and the list
-	// calls NotifyJoin under its own.
-	events.queue.NumNodes = func() int { return int(max(events.aliveMembers.Load(), 1)) }
-	listConfig.Delegate, listConfig.Events = events, events
-	cluster, err := memberlist.Create(listConfig)
+	clusterConfig.Delegate = events
+	clusterConfig.Events = events
+	cluster, err := memberlist.Create(clusterConfig)
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
@@ -101,40 +46,100 @@
 		events.queue.QueueBroadcast(&broadcast{name, payload})
 	}
 	m.mu.Unlock()
-	tick := time.NewTicker(rejoinInterval)
-	defer tick.Stop()
+	rejoin := time.NewTicker(rejoinInterval)
+	defer rejoin.Stop()
 	for {
-		m.join(cluster, config.Peers)
+		joinMissing(cluster, config.Peers)
 		select {
 		case <-ctx.Done():
-			_ = cluster.Leave(time.Second)
+			_ = cluster.Leave(leaveTimeout)
 			return cluster.Shutdown()
-		case <-tick.C:
+		case <-rejoin.C:
+		}
+	}
+}
+
+// clusterConfig returns memberlist's configuration with a transport that listens already.
+func (m *Member) clusterConfig(config Config) (*memberlist.Config, error) {
+	bind, err := netip.ParseAddrPort(config.BindAddress)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.bind: %w", err)
+	}
+	logger := log.New(config.LogOutput, "", 0)
+	clusterTransport, err := newTransport(bind, logger)
+	if err != nil {
+		return nil, fmt.Errorf("fleet.bind: %w", err)
+	}
+	advertise := bind
+	if config.AdvertiseAddress != "" {
+		if advertise, err = netip.ParseAddrPort(config.AdvertiseAddress); err != nil {
+			return nil, fmt.Errorf("fleet.advertise: %w", err)
 		}
 	}
+	c := memberlist.DefaultLANConfig()
+	c.Name = m.name
+	c.Transport = clusterTransport
+	c.Logger = logger
+	c.BindAddr = bind.Addr().String()
+	c.BindPort = int(bind.Port())
+	c.AdvertiseAddr = advertise.Addr().String()
+	c.AdvertisePort = int(advertise.Port())
+	if !config.Unencrypted {
+		if c.SecretKey, err = ReadKey(config.KeyFile); err != nil {
+			return nil, fmt.Errorf("fleet.key: %w", err)
+		}
+	}
+	c.GossipInterval = config.Interval
+	c.ProbeInterval = 5 * config.Interval
+	c.ProbeTimeout = 5 * config.Interval / 2
+	// Where few members are left they confirm each other's suspicions late. A false one does no
+	// harm, as tokens are held back for longer than that.
+	c.SuspicionMaxTimeoutMult = 2
+	c.PushPullInterval = stateSyncInterval
+	c.DeadNodeReclaimTime = nameReclaimTimeout
+	return c, nil
 }
 
-// join looks for those of the peers that are not there.
-func (m *Member) join(cluster *memberlist.Memberlist, peers []string) {
+// joinMissing joins those of the peers that are not in the cluster.
+func joinMissing(cluster *memberlist.Memberlist, peers []string) {
 	present := []string{cluster.LocalNode().Address()}
 	for _, node := range cluster.Members() {
 		present = append(present, node.Address())
 	}
-	missing := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool { return slices.Contains(present, peer) })
+	missing := slices.DeleteFunc(slices.Clone(peers), func(peer string) bool {
+		return slices.Contains(present, peer)
+	})
 	if len(missing) > 0 {
-		_, _ = cluster.Join(missing) // memberlist logs who can't be reached; they are looked for again
+		_, _ = cluster.Join(missing) // memberlist logs a failure, and the next round tries again
 	}
 }
 
-// ReadKey reads a key file.
-func ReadKey(path string) ([]byte, error) {
-	raw, err := os.ReadFile(path)
+// transport is memberlist's, but connects from the IP that it listens on, so that others can
+// tell members apart, and so can a fault proxy between them.
+type transport struct {
+	*memberlist.NetTransport
+	localIP net.IP
+}
+
+func newTransport(bind netip.AddrPort, logger *log.Logger) (*transport, error) {
+	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+		BindAddrs: []string{bind.Addr().String()},
+		BindPort:  int(bind.Port()),
+		Logger:    logger,
+	})
 	if err != nil {
 		return nil, err
 	}
-	key, err := hex.DecodeString(strings.TrimSpace(string(raw)))
-	if err != nil || memberlist.ValidateKey(key) != nil {
-		return nil, fmt.Errorf("%s: 32, 48 or 64 hexadecimal digits are wanted", path)
-	}
-	return key, nil
+	return &transport{netTransport, net.IP(bind.Addr().AsSlice())}, nil
+}
+
+// DialTimeout implements memberlist.Transport.
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: t.localIP}}
+	return dialer.Dial("tcp", addr)
+}
+
+// DialAddressTimeout implements memberlist.NodeAwareTransport.
+func (t *transport) DialAddressTimeout(address memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.DialTimeout(address.Addr, timeout)
 }
--- a/internal/fleet/gossip/stored_test.go
+++ b/internal/fleet/gossip/stored_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// storedUsed is the datagram on accounts and, as a member takes it, the use in it.
+// storedUsage is the usage message and, as a member reads it, the usage in it.
 func storedUsage() (usageMessage, Usage) {
 	datagram := usageMessage{Member: "node-b", HalfEpoch: 201, Paths: map[string]usageCounters{"acme": {202, 203, 204}, "acme/web:r": {205, 206, 207}}, OmittedMax: usageCounters{208, 209, 210}}
 	return datagram, Usage{
@@ -43,7 +43,7 @@
 	}
 }
 
-// storedMember has met node-b by its stored meta data.
+// storedMember knows node-b by its stored metadata.
 func storedMember(t *testing.T) *Member {
 	member := NewMember("node-a", testQuotaConfig, quota.Guards{}, func() time.Duration { return storedClock })
 	want := nodeMetadata{Zone: "zone-b", ReplogAddress: "127.0.0.1:1"}
@@ -70,8 +70,8 @@
 	}
 }
 
-// Members of this version and of the one that wrote the files take each other's word: in
-// datagrams, and all at once from who was cut off.
+// Members of this version and of the one that wrote the files read each other's messages: one by
+// one, and all at once after a partition.
 func TestStoredGossipIsReadAndWrittenAlike(t *testing.T) {
 	member, cutOff := storedMember(t), storedMember(t)
 	datagram, _ := storedUsage()
--- a/internal/fleet/gossip/usage_test.go
+++ b/internal/fleet/gossip/usage_test.go
@@ -10,12 +10,14 @@
 	"coralrelay/internal/fleet/quota"
 )
 
-// What was used in an epoch's first half reaches others in the second, in one datagram: what
-// does not fit was used no more than it says. Nobody's false word is taken for another's.
+// What was used in the first half of an epoch reaches others in the second, in one message: what
+// does not fit was used no more than it says. Messages that are old, invalid, or of an unknown
+// member or the receiver itself are not accepted.
 func TestUsageReachesOtherMembersInOneMessage(t *testing.T) {
 	for _, paths := range []int{0, 5, 500} {
 		var sent [][]byte
-		sender, receiver := NewMember("a", testQuotaConfig, quota.Guards{}, systemClock), NewMember("b", testQuotaConfig, quota.Guards{}, systemClock)
+		sender := NewMember("a", testQuotaConfig, quota.Guards{}, systemClock)
+		receiver := NewMember("b", testQuotaConfig, quota.Guards{}, systemClock)
 		sender.enqueue = func(name string, raw []byte) {
 			if strings.HasPrefix(name, "used/") {
 				sent = append(sent, raw)
@@ -33,10 +35,10 @@
 		}
 		receiver.Receive(sent[0])
 		if len(receiver.Usages()) != 0 {
-			t.Error("the word of nobody is taken")
+			t.Error("the usage of an unknown member is accepted")
 		}
 		receiver.SetMemberStatus("a", quota.Alive, nil)
-		receiver.receiveState(sender.encodeState()) // as who was cut off
+		receiver.receiveState(sender.encodeState()) // as after a partition
 		receiver.Receive([]byte(`{"used":"a","half":9,"paths":{"acme":[1,0,0]}}`))
 		receiver.Receive([]byte(`{"used":"a","half":12,"paths":{"acme":[-1,0,0]}}`))
 		receiver.Receive([]byte(`{"used":"b","half":12,"paths":{}}`))
@@ -46,17 +48,18 @@
 			t.Fatalf("%d paths: %+v", paths, got)
 		}
 		for path, amounts := range usage.UsedBefore {
-			if received, ok := got[0].UsedBefore[path]; ok && received.Setups != amounts.Setups || !ok && amounts.Setups > got[0].OmittedMax.Setups {
-				t.Errorf("%d paths: %s: %+v, rest %+v", paths, path, received, got[0].OmittedMax)
+			received, ok := got[0].UsedBefore[path]
+			if ok && received.Setups != amounts.Setups || !ok && amounts.Setups > got[0].OmittedMax.Setups {
+				t.Errorf("%d paths: %s: %+v, omitted %+v", paths, path, received, got[0].OmittedMax)
 			}
 		}
 		if (got[0].OmittedMax.Setups > 0) != (paths == 500) {
-			t.Errorf("%d paths: rest %+v", paths, got[0].OmittedMax)
+			t.Errorf("%d paths: omitted %+v", paths, got[0].OmittedMax)
 		}
 		receiver.SetMemberStatus("a", quota.Left, nil)
 		receiver.clock = func() time.Duration { return systemClock() + time.Hour }
 		if receiver.LeaseHolders(); len(receiver.Usages()) != 0 {
-			t.Error("a member that has left is remembered")
+			t.Error("the usage of a member that has left is kept")
 		}
 	}
 }
