--- /dev/null
+++ b/internal/discovery/watcher.go
@@ -0,0 +1,223 @@
+package discovery
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"coralrelay/balance"
+)
+
+// Sink receives the updates of a Watcher in order, on the goroutine of Run.
+type Sink interface {
+	UpdateEndpoints(update Update)
+}
+
+// Watcher follows the endpoint list. It makes one call at a time, each when Subscribe asks for
+// it: a failure is reported, and somebody else decides when to poll again. A call that is overdue
+// is reported as failed but goes on: the next one is made beside it, and the first complete list
+// of the two wins.
+type Watcher struct {
+	// Dial connects to an address by a deadline, over TCP unless a test replaces it. Set
+	// before Run.
+	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
+
+	sink           Sink
+	pollRequested  chan struct{} // holds one if a poll is wanted
+	addressChanged chan struct{} // holds one if addr has changed since takeAddress
+	events         chan event    // of calls
+
+	mu   sync.Mutex
+	addr string
+
+	// The fields below belong to Run's goroutine.
+	polledAddr     string     // of the latest call
+	lastGeneration int64      // of the last list from there
+	nextReason     callReason // of the next call
+	calls          []*call    // under way, at most two; all but the last are reported as failed
+	callGroup      sync.WaitGroup
+}
+
+// New returns a Watcher of the discovery service at addr; Run starts it.
+func New(addr string, sink Sink) *Watcher {
+	return &Watcher{
+		Dial:           dial,
+		sink:           sink,
+		pollRequested:  make(chan struct{}, 1),
+		addressChanged: make(chan struct{}, 1),
+		events:         make(chan event),
+		addr:           addr,
+		polledAddr:     addr,
+	}
+}
+
+// Subscribe requests a call, unless one is under way. It returns at once.
+func (w *Watcher) Subscribe() { signal(w.pollRequested) }
+
+// signal puts a signal into a channel that holds one.
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// SetAddress changes over to the discovery service at addr at once. The list stays; the end of
+// the old watch is not a failure and is not reported.
+func (w *Watcher) SetAddress(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if addr != w.addr {
+		w.addr = addr
+		signal(w.addressChanged)
+	}
+}
+
+// Run makes the calls that are requested until ctx ends. The first update that it reports is the
+// cached list, which may be old.
+func (w *Watcher) Run(ctx context.Context, cached Update) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer w.callGroup.Wait()
+	defer cancel()
+	cached.Kind = balance.ListCached
+	w.lastGeneration = cached.Generation
+	w.sink.UpdateEndpoints(cached)
+	for {
+		pollRequested, overdue := w.awaited()
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.addressChanged:
+			w.switchAddress(ctx)
+		case <-pollRequested:
+			w.startCall(ctx)
+		case <-overdue:
+			w.reportFailure(w.calls[len(w.calls)-1], errOverdue)
+		case reported := <-w.events:
+			w.handleEvent(reported)
+		}
+	}
+}
+
+// awaited returns the channels that Run waits for besides its others: a requested poll, unless a
+// call is under way that is not reported as failed, or two are; and the moment when the last
+// call is overdue. A channel that is nil is not waited for.
+func (w *Watcher) awaited() (pollRequested <-chan struct{}, overdue <-chan time.Time) {
+	if len(w.calls) == 0 {
+		return w.pollRequested, nil
+	}
+	if last := w.calls[len(w.calls)-1]; !last.failureReported {
+		return nil, last.overdue
+	}
+	if len(w.calls) > 1 {
+		return nil, nil // until one of them ends
+	}
+	return w.pollRequested, nil
+}
+
+// takeAddress returns where to poll, and clears the signal that it has changed.
+func (w *Watcher) takeAddress() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.addressChanged:
+	default:
+	}
+	return w.addr
+}
+
+// switchAddress calls the new address, unless a call that is under way is there already.
+func (w *Watcher) switchAddress(ctx context.Context) {
+	addr := w.takeAddress()
+	if slices.ContainsFunc(w.calls, func(c *call) bool { return c.addr == addr }) {
+		return
+	}
+	w.discardPollRequest()
+	w.startCall(ctx)
+}
+
+// startCall starts a call and ends those to another address.
+func (w *Watcher) startCall(ctx context.Context) {
+	if addr := w.takeAddress(); addr != w.polledAddr {
+		// The generations of two services need not be comparable: polled from the old one's,
+		// the new one might leave changes out.
+		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonWatchEnded
+		w.cancelAllBut(nil)
+	}
+	started := &call{
+		addr:           w.polledAddr,
+		fromGeneration: w.lastGeneration,
+		events:         w.events,
+		reason:         w.nextReason,
+	}
+	ctx, started.cancel = context.WithCancel(ctx)
+	if started.reason == reasonWatchEnded {
+		started.listDeadline, started.overdue = time.Now().Add(responseTimeout), time.After(responseTimeout)
+	}
+	w.calls = append(w.calls, started)
+	w.callGroup.Go(func() { started.run(ctx, w.Dial) })
+}
+
+// cancelAllBut ends all calls but one, which may be nil.
+func (w *Watcher) cancelAllBut(kept *call) {
+	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
+		if c != kept {
+			c.cancel()
+		}
+		return c != kept
+	})
+}
+
+// handleEvent handles an event of a call, unless the call was cancelled since.
+func (w *Watcher) handleEvent(reported event) {
+	index := slices.Index(w.calls, reported.call)
+	if index < 0 {
+		return
+	}
+	switch c := reported.call; {
+	case reported.err != nil:
+		c.cancel()
+		w.calls = slices.Delete(w.calls, index, index+1)
+		w.reportFailure(c, reported.err)
+	case reported.progress == progressHeader:
+		c.overdue = nil
+	case reported.progress == progressFirstByte && c.reason == reasonWatchEnded:
+		c.overdue = time.After(time.Until(c.listDeadline))
+	case reported.progress == progressFirstByte:
+		if c.reason == reasonCallFailed {
+			c.overdue = time.After(responseTimeout)
+		}
+	default:
+		w.cancelAllBut(c)
+		c.overdue, c.failureReported, c.watching = nil, false, true
+		w.lastGeneration, w.nextReason = reported.update.Generation, reasonWatchEnded
+		w.sink.UpdateEndpoints(reported.update)
+	}
+}
+
+// reportFailure reports that a call has failed, once for each call. Whoever receives the report
+// decides when to poll again; a poll that was requested before is void, or two calls would follow
+// one another without a pause.
+func (w *Watcher) reportFailure(c *call, err error) {
+	if c.failureReported {
+		return
+	}
+	c.failureReported = true
+	if !c.watching {
+		w.nextReason = reasonCallFailed
+	}
+	w.discardPollRequest()
+	slog.Warn("endpoint list watch ended", "component", "discovery", "address", c.addr, "error", err)
+	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration})
+}
+
+// discardPollRequest voids a requested poll.
+func (w *Watcher) discardPollRequest() {
+	select {
+	case <-w.pollRequested:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/dispatch/eventloop.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/logging"
+)
+
+const (
+	// avoidedRefreshInterval is the greatest age of AvoidedCount's answer.
+	avoidedRefreshInterval = 200 * time.Millisecond
+	// inboxCapacity is how many closures may wait for Run before post blocks.
+	inboxCapacity = 1024
+)
+
+// Prober requests load reports from endpoints. Probe returns at once; the result is reported
+// to EventLoop.ProbeEnded.
+type Prober interface{ Probe(server string) }
+
+// Discovery polls for the endpoint list. Subscribe returns at once; the result is reported to
+// EventLoop.UpdateEndpoints.
+type Discovery interface{ Subscribe() }
+
+// EventLoop owns the decision module and the placements that are under way.
+type EventLoop struct {
+	Router Router // nil where there are no routes; set before Run
+
+	clock          Clock
+	balancer       *balance.Balancer
+	prober         Prober
+	discovery      Discovery
+	inbox          chan func()
+	done           chan struct{} // closed when Run has ended
+	rejectedLog    logging.Throttled
+	avoidedServers atomic.Int64 // refreshed every avoidedRefreshInterval
+
+	// The fields below belong to Run's goroutine.
+	knownClasses    map[string]bool
+	listedServers   map[string]bool // in discovery's list; nil until discovery has answered
+	placements      map[string]*activePlacement
+	timers          timerHeap
+	actions         []balance.Action                                  // of the latest event; reused
+	attemptObserver func(contract, server string, took time.Duration) // nil for none
+}
+
+// New returns an EventLoop for the settings; Run starts it. The seed is that of the module's
+// random draws. It fails if the module does not accept the settings.
+func New(clock Clock, seed uint64, settings balance.Settings, prober Prober, discovery Discovery) (*EventLoop, error) {
+	balancer, err := balance.New(seed, settings)
+	if err != nil {
+		return nil, fmt.Errorf("create the decision module: %w", err)
+	}
+	return &EventLoop{
+		clock:        clock,
+		balancer:     balancer,
+		prober:       prober,
+		discovery:    discovery,
+		inbox:        make(chan func(), inboxCapacity),
+		done:         make(chan struct{}),
+		knownClasses: classNames(settings.Classes),
+		placements:   map[string]*activePlacement{},
+	}, nil
+}
+
+func classNames(classes []balance.Class) map[string]bool {
+	known := map[string]bool{}
+	for _, class := range classes {
+		known[class.Name] = true
+	}
+	return known
+}
+
+// Run handles events and timers until ctx ends.
+func (l *EventLoop) Run(ctx context.Context) {
+	defer close(l.done)
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	refresh := time.NewTicker(avoidedRefreshInterval)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-l.inbox:
+			f()
+		case <-wake.C:
+		case <-refresh.C:
+			l.avoidedServers.Store(int64(l.balancer.AvoidedServers()))
+		}
+		l.runDueTimers(time.Now())
+		if len(l.timers) > 0 {
+			wake.Reset(time.Until(l.timers[0].dueAt))
+		}
+	}
+}
+
+// runDueTimers runs the timers that are due at a time, those that they set included.
+func (l *EventLoop) runDueTimers(now time.Time) {
+	for {
+		run, due := l.timers.popDue(now)
+		if !due {
+			return
+		}
+		run()
+	}
+}
+
+// post hands f to Run's goroutine. It waits while the inbox is full, and drops f once Run has
+// ended.
+func (l *EventLoop) post(f func()) {
+	select {
+	case l.inbox <- f:
+	case <-l.done:
+	}
+}
+
+// handle passes an event to the module and executes the actions that it answers with.
+func (l *EventLoop) handle(event balance.Event) {
+	now := time.Now()
+	l.actions = l.balancer.Handle(l.clock.At(now), event, l.actions[:0])
+	for _, action := range l.actions {
+		l.execute(now, action)
+	}
+}
+
+// execute turns one of the module's actions into a call.
+func (l *EventLoop) execute(now time.Time, action balance.Action) {
+	switch a := action.(type) {
+	case balance.Attempt:
+		l.startAttempt(now, a)
+	case balance.Reject:
+		if active := l.remove(a.ID, "rejected"); active != nil {
+			active.placement.Reject(a.RetryAfter)
+		}
+	case balance.Fail:
+		if active := l.remove(a.ID, "failed"); active != nil {
+			active.placement.Fail()
+		}
+	case balance.Migrate:
+		if active := l.placements[a.ID]; active != nil {
+			active.trace.attemptStatus("migrated")
+			active.placement.Migrate()
+		}
+	case balance.Probe:
+		l.prober.Probe(a.Server)
+	case balance.SetTimer:
+		l.timers.schedule(now.Add(a.Delay), func() { l.handle(balance.TimerFired{Token: a.Token}) })
+	case balance.Subscribe:
+		l.discovery.Subscribe()
+	case balance.Log:
+		slog.Info("decision module log", "component", "dispatch", "text", a.Text)
+	}
+}
--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,139 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
+)
+
+// attempt is one attempt of a session: a connection, the session's first line on it, and the
+// endpoint's reply.
+type attempt struct {
+	pool     *Pool
+	session  *proxy.Session
+	endpoint *endpointState // nil if it is not in the list
+	deadline time.Time
+}
+
+// attemptResult is how an attempt ended. The outcome counts unless it is established.
+type attemptResult struct {
+	established bool
+	outcome     balance.Outcome
+	load        balance.LoadReport
+}
+
+func failedAttempt(outcome balance.Outcome) attemptResult {
+	return attemptResult{outcome: outcome, load: balance.EmptyLoadReport}
+}
+
+// StartAttempt starts an attempt for a placement, which must be a *proxy.Session. The attempt
+// ends with the session's context or at the deadline, and is reported to the observer.
+func (p *Pool) StartAttempt(placement dispatch.Placement, attemptNumber int, server string, deadline time.Time) {
+	session := placement.(*proxy.Session) // the line protocol's listener submits no others
+	a := &attempt{pool: p, session: session, endpoint: p.lookup(server), deadline: deadline}
+	go func() {
+		startedAt := time.Now()
+		result := a.run()
+		latency := time.Since(startedAt)
+		if result.established {
+			p.observer.AttemptEstablished(session, attemptNumber, server, latency)
+			return
+		}
+		p.observer.AttemptEnded(session, attemptNumber, server, result.outcome, latency, result.load)
+	}()
+}
+
+// run makes the attempt. Unless it is established, its socket is closed on return. If the
+// session has ended meanwhile the attempt was cancelled, whatever its socket returned then:
+// its client has left, which must not count against the endpoint.
+func (a *attempt) run() attemptResult {
+	if a.endpoint == nil {
+		return failedAttempt(balance.ConnectFailed)
+	}
+	result := a.connect()
+	if !result.established && a.session.Context().Err() != nil {
+		result.outcome = balance.Cancelled
+	}
+	return result
+}
+
+// connect opens the connection and forwards the first line on it.
+func (a *attempt) connect() attemptResult {
+	raw, err := a.pool.dial(a.session.Context(), a.endpoint.address(), a.deadline)
+	if err != nil {
+		return failedAttempt(balance.ConnectFailed)
+	}
+	conn := bufconn.New(raw)
+	stop := context.AfterFunc(a.session.Context(), func() { _ = raw.Close() })
+	result := a.forwardFirstLine(conn, stop)
+	if !result.established {
+		stop()
+		conn.Release()
+	}
+	return result
+}
+
+// forwardFirstLine writes the session's first line and waits for the reply. stop ends the
+// closing of the connection with the session's context, and is false if it has closed.
+func (a *attempt) forwardFirstLine(conn *bufconn.Conn, stop func() bool) attemptResult {
+	now := time.Now()
+	if !a.maySend(now) {
+		return failedAttempt(balance.ConnectFailed)
+	}
+	if err := conn.WriteLine(a.session.ForwardLine(now, a.deadline), a.deadline); err != nil {
+		return failedAttempt(balance.ConnectFailed) // its last byte was not written
+	}
+	a.session.Metrics.Forwarded()
+	text, err := conn.ReadTextLineBefore(a.deadline)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return failedAttempt(balance.TimedOut)
+	case err != nil:
+		return failedAttempt(balance.Reset)
+	}
+	return a.handleReply(conn, stop, text)
+}
+
+// maySend is whether the first line may be sent. A dial may take long, so this is looked at
+// again just before the first byte: the client may have left, in a moment in which nobody has
+// closed the socket yet; the endpoint may drain; and the deadline, which for a request that may
+// have run before is no later than the end of its retry window, may have passed. An endpoint
+// that holds the session already gets it also while it drains.
+func (a *attempt) maySend(now time.Time) bool {
+	if a.session.Context().Err() != nil || !now.Before(a.deadline) {
+		return false
+	}
+	return a.session.CurrentServer != "" || a.endpoint.acceptsTraffic(now, a.pool.sendGrace())
+}
+
+// handleReply turns the endpoint's reply into the result. On UP the connection goes to the
+// session, unless that has ended.
+func (a *attempt) handleReply(conn *bufconn.Conn, stop func() bool, text []byte) attemptResult {
+	reply, load := lineproto.ParseReply(text)
+	switch reply {
+	case lineproto.Up:
+		_ = conn.SetReadDeadline(time.Time{})
+		if stop() && a.session.Establish(string(text), a.endpoint.id, conn) {
+			return attemptResult{established: true, outcome: balance.OK, load: load}
+		}
+		return attemptResult{outcome: balance.Cancelled, load: load}
+	case lineproto.Busy:
+		return attemptResult{outcome: balance.AtCapacity, load: load}
+	case lineproto.Bye:
+		return attemptResult{outcome: balance.OK, load: load}
+	case lineproto.Moved:
+		return attemptResult{outcome: balance.Cancelled, load: load}
+	case lineproto.Malformed:
+		a.pool.malformedLog.Warn("malformed reply from endpoint", "component", "upstream",
+			"endpoint", a.endpoint.id, "line", fmt.Sprintf("%.60q", text))
+	}
+	return attemptResult{outcome: balance.Errored, load: load}
+}
