dispatch: the module's log lines have a fixed message and attributes

balance.Log carries both since the module was made readable; the event loop writes them with component=balance. Tests of dispatch, upstream, discovery and gossip pass.

--- a/internal/dispatch/eventloop.go
+++ b/internal/dispatch/eventloop.go
@@ -153,6 +153,15 @@
 	case balance.Subscribe:
 		l.discovery.Subscribe()
 	case balance.Log:
-		slog.Info("decision module log", "component", "dispatch", "text", a.Text)
+		logModule(a)
 	}
 }
+
+// logModule writes a log line of the decision module.
+func logModule(line balance.Log) {
+	attributes := []any{"component", "balance"}
+	for _, attribute := range line.Attributes {
+		attributes = append(attributes, attribute.Key, attribute.Value)
+	}
+	slog.Info(line.Message, attributes...)
+}
