--- a/internal/downstream/capacity_test.go
+++ b/internal/downstream/capacity_test.go
@@ -29,15 +29,15 @@
 // once each newcomer was accepted. Usual callers between them are answered.
 func TestManyClientsStayWithinTheSocketLimit(t *testing.T) {
 	const sockets = 32
-	p := newParkingDispatcher()
-	s := New(p, nil, Limits{Sockets: sockets})
+	dispatcher := newParkingDispatcher()
+	s := New(dispatcher, nil, Limits{Sockets: sockets})
 	plain, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &countingListener{Listener: plain, server: s}
+	listener := &countingListener{Listener: plain, server: s}
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- s.Serve(listener) }()
 	for i := range 200 {
 		conn, err := net.Dial("tcp", plain.Addr().String())
 		if err != nil {
@@ -60,10 +60,10 @@
 			usual.Close()
 		}
 	}
-	if most, bound := l.maxInUse.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
+	if most, bound := listener.maxInUse.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
 		t.Errorf("%d sockets were in use, %d allowed", most, bound)
 	}
-	if most := l.maxInUse.Load(); most < sockets {
+	if most := listener.maxInUse.Load(); most < sockets {
 		t.Errorf("only %d of %d sockets were in use", most, sockets)
 	}
 	_ = plain.Close()
@@ -74,30 +74,30 @@
 // A limit that falls under what stands, as the list grows or a process beside this one
 // takes its share, turns newcomers away, and not from the door.
 func TestSocketLimitBelowOpenSessionsRejectsNewcomers(t *testing.T) {
-	p, l := newParkingDispatcher(), make(fakeListener)
-	s := New(p, nil, Limits{Sockets: 32})
+	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	s := New(dispatcher, nil, Limits{Sockets: 32})
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- s.Serve(listener) }()
 	for i := range 12 {
 		near, far := connPair(t)
-		l <- near
+		listener <- near
 		fmt.Fprintf(far, "OPEN a%d k c=feed,d=40000\r\n", i)
-		<-p.submitted
+		<-dispatcher.submitted
 	}
 	s.SetSocketLimit(8)
 	for range 20 {
 		near, far := connPair(t)
-		l <- near
+		listener <- near
 		fmt.Fprint(far, "OPEN b k c=feed,d=900\r\n")
 		if text, err := io.ReadAll(far); string(text) != "BUSY\r\n" || err != nil {
 			t.Errorf("a newcomer: %q, %v", text, err)
 		}
 		far.Close()
 	}
-	if len(p.submitted) > 0 {
+	if len(dispatcher.submitted) > 0 {
 		t.Error("a newcomer was taken")
 	}
-	_ = l.Close()
+	_ = listener.Close()
 	<-served
 	s.Close()
 }
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -56,29 +56,29 @@
 // good order: who rests, who is being read out, who waits for longer than the plan lasts,
 // and who stands. Once they were cut off.
 func TestDrainAnswersEveryClient(t *testing.T) {
-	p, l := newParkingDispatcher(), make(fakeListener)
-	s := New(p, nil, Limits{Sockets: 64})
+	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	s := New(dispatcher, nil, Limits{Sockets: 64})
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	come := func(says string) net.Conn {
+	go func() { served <- s.Serve(listener) }()
+	connect := func(text string) net.Conn {
 		near, far := connPair(t)
-		l <- near
-		fmt.Fprint(far, says)
+		listener <- near
+		fmt.Fprint(far, text)
 		return far
 	}
-	rests := come("")
-	half := come("OPEN h k c=fe")
-	late := come("OPEN late k c=feed,d=40000\r\n")
-	home := come("OPEN home k c=feed,d=40000,at=s1\r\n")
+	idle := connect("")
+	halfLine := connect("OPEN h k c=fe")
+	waiting := connect("OPEN late k c=feed,d=40000\r\n")
+	sticky := connect("OPEN home k c=feed,d=40000,at=s1\r\n")
 	for range 2 {
-		<-p.submitted
+		<-dispatcher.submitted
 	}
-	stands := come("OPEN stands k c=feed,d=900\r\n")
-	hopNear, hop := connPair(t)
-	if up := <-p.submitted; !up.Establish("UP r1", "s1", bufconn.New(hopNear)) {
+	established := connect("OPEN stands k c=feed,d=900\r\n")
+	upstreamNear, upstream := connPair(t)
+	if up := <-dispatcher.submitted; !up.Establish("UP r1", "s1", bufconn.New(upstreamNear)) {
 		t.Fatal("not up")
 	}
-	if text, _ := bufio.NewReader(stands).ReadString('\n'); text != "UP r1\r\n" {
+	if text, _ := bufio.NewReader(established).ReadString('\n'); text != "UP r1\r\n" {
 		t.Fatalf("%q", text)
 	}
 
@@ -90,37 +90,37 @@
 	for s.AcceptsClients() {
 		time.Sleep(time.Millisecond)
 	}
-	if text := readAll(t, come("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
+	if text := readAll(t, connect("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
 		t.Errorf("who comes later: %q", text)
 	}
 	for name, c := range map[string]struct {
 		far  net.Conn
 		want string
-	}{"rests": {rests, "BUSY\r\n"}, "half a line": {half, "BUSY\r\n"}, "waits": {late, "ERR\r\n"},
-		"waits for who holds it": {home, "ERR\r\n"}, "stands": {stands, "MOVE\r\n"}} {
+	}{"rests": {idle, "BUSY\r\n"}, "half a line": {halfLine, "BUSY\r\n"}, "waits": {waiting, "ERR\r\n"},
+		"waits for who holds it": {sticky, "ERR\r\n"}, "stands": {established, "MOVE\r\n"}} {
 		if text := readAll(t, c.far); text != c.want {
 			t.Errorf("%s: %q, want %q", name, text, c.want)
 		}
 		c.far.Close()
 	}
-	hop.Close()
+	upstream.Close()
 	if took := <-drained; took > 900*time.Millisecond+50*time.Millisecond {
 		t.Errorf("it took %v", took)
 	}
-	_ = l.Close()
+	_ = listener.Close()
 	<-served
 	s.Close()
-	told := map[string]bool{}
-	for len(p.events) > 0 {
-		told[<-p.events] = true
+	events := map[string]bool{}
+	for len(dispatcher.events) > 0 {
+		events[<-dispatcher.events] = true
 	}
 	for _, want := range []string{"gone late", "gone home", "ended stands"} {
-		if !told[want] {
-			t.Errorf("the decider was not told: %s (%v)", want, told)
+		if !events[want] {
+			t.Errorf("the decider was not told: %s (%v)", want, events)
 		}
 	}
-	if told["submitted new"] || told["submitted h"] {
-		t.Errorf("what was read after the beginning went on: %v", told)
+	if events["submitted new"] || events["submitted h"] {
+		t.Errorf("what was read after the beginning went on: %v", events)
 	}
 }
 
@@ -128,43 +128,43 @@
 // is cut while it still sends.
 func TestDrainWaitsForLingeringClients(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, stands := range []bool{false, true} {
-			p, l := newParkingDispatcher(), make(fakeListener)
-			s := New(p, nil, Limits{Sockets: 64})
+		for _, withSession := range []bool{false, true} {
+			dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+			s := New(dispatcher, nil, Limits{Sockets: 64})
 			served := make(chan error, 1)
-			go func() { served <- s.Serve(l) }()
-			come := func(says string) net.Conn {
+			go func() { served <- s.Serve(listener) }()
+			connect := func(text string) net.Conn {
 				near, far := net.Pipe()
-				l <- near
-				fmt.Fprint(far, says)
+				listener <- near
+				fmt.Fprint(far, text)
 				return far
 			}
 			var stop func()
-			if stands {
-				far := come("OPEN stands k c=feed,d=900\r\n")
-				near, hop := net.Pipe()
-				(<-p.submitted).Establish("UP r1", "s1", bufconn.New(near))
+			if withSession {
+				far := connect("OPEN stands k c=feed,d=900\r\n")
+				near, upstream := net.Pipe()
+				(<-dispatcher.submitted).Establish("UP r1", "s1", bufconn.New(near))
 				lines := bufio.NewReader(far)
 				_, _ = lines.ReadString('\n')
-				stop = func() { _, _ = io.ReadAll(lines); far.Close(); hop.Close() }
+				stop = func() { _, _ = io.ReadAll(lines); far.Close(); upstream.Close() }
 			}
 			time.Sleep(time.Second)
-			rests := come("")
+			idle := connect("")
 			begun := time.Now()
 			plan := DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(time.Second), MoveEndAt: begun.Add(2 * time.Second), EndAt: begun.Add(2400 * time.Millisecond)}
 			drained := make(chan time.Duration, 1)
 			go func() { s.Drain(plan); drained <- time.Since(begun) }()
-			if stands {
+			if withSession {
 				go stop()
 			}
 			// Alone it is told when nobody comes any more, else by its own time.
-			text, err := bufio.NewReader(rests).ReadString('\n')
-			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !stands && (at < arrivalWindow || at > arrivalWindow+2*drainInterval) {
+			text, err := bufio.NewReader(idle).ReadString('\n')
+			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !withSession && (at < arrivalWindow || at > arrivalWindow+2*drainInterval) {
 				t.Errorf("%q, %v after %v", text, err, at)
 			}
 			at := time.Now()
 			for { // it sends on until the other side ends
-				if _, err := fmt.Fprint(rests, "OPEN late k c=feed,d=900\r\n"); err != nil {
+				if _, err := fmt.Fprint(idle, "OPEN late k c=feed,d=900\r\n"); err != nil {
 					break
 				}
 				time.Sleep(10 * time.Millisecond)
@@ -172,12 +172,12 @@
 			if sent := time.Since(at); sent < lingerTimeout {
 				t.Errorf("it was cut off %v after its answer", sent)
 			}
-			rests.Close()
+			idle.Close()
 			if took := <-drained; took > 2400*time.Millisecond {
 				t.Errorf("it took %v", took)
 			}
-			last := func() net.Conn { near, far := net.Pipe(); l <- near; return far }() // before the listener closes
-			_ = l.Close()
+			last := func() net.Conn { near, far := net.Pipe(); listener <- near; return far }() // before the listener closes
+			_ = listener.Close()
 			<-served
 			closed := make(chan struct{})
 			go func() { s.Close(); close(closed) }()
@@ -194,15 +194,15 @@
 // one answer, and the decider, which has it by then, is told that it is over. Told before,
 // it would have sent it on.
 func TestGivesUpASessionBeingSubmitted(t *testing.T) {
-	p, l := newParkingDispatcher(), make(fakeListener)
-	p.release = make(chan struct{})
-	s := New(p, nil, Limits{Sockets: 64})
+	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	dispatcher.release = make(chan struct{})
+	s := New(dispatcher, nil, Limits{Sockets: 64})
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func() { served <- s.Serve(listener) }()
 	near, far := connPair(t)
-	l <- near
+	listener <- near
 	fmt.Fprint(far, "OPEN a k c=feed,d=40000\r\n")
-	<-p.submitted
+	<-dispatcher.submitted
 	drained := make(chan struct{})
 	go func() {
 		now := time.Now()
@@ -211,23 +211,23 @@
 	}()
 	for { // until newcomers are seen off unread
 		near, other := connPair(t)
-		l <- near
+		listener <- near
 		other.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 		if text, _ := bufio.NewReader(other).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
 			break
 		}
 		other.Close()
 	}
-	close(p.release)
+	close(dispatcher.release)
 	if text := readAll(t, far); text != "ERR\r\n" {
 		t.Errorf("answered %q", text)
 	}
 	far.Close()
 	<-drained
-	_ = l.Close()
+	_ = listener.Close()
 	<-served
 	s.Close()
-	if first, second := <-p.events, <-p.events; first != "submitted a" || second != "gone a" {
+	if first, second := <-dispatcher.events, <-dispatcher.events; first != "submitted a" || second != "gone a" {
 		t.Errorf("told %q, then %q", first, second)
 	}
 }
--- a/internal/downstream/lingering_test.go
+++ b/internal/downstream/lingering_test.go
@@ -73,30 +73,30 @@
 // the only answer, and the request goes nowhere.
 func TestLastAnswerSurvivesACrossingRequest(t *testing.T) {
 	type told struct {
-		name, says, want string
-		pongs            int
-		meanwhile        func(s *Server, come func())
+		name, clientWrites, want string
+		pongs                    int
+		meanwhile                func(s *Server, connect func())
 	}
-	room := func(_ *Server, come func()) { // for others
+	makeCapacity := func(_ *Server, connect func()) { // for others
 		for range 4 {
-			come()
+			connect()
 		}
 	}
-	end := func(s *Server, _ func()) {
+	drain := func(s *Server, _ func()) {
 		now := time.Now()
 		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now.Add(time.Second), EndAt: now.Add(time.Second)})
 	}
 	tests := []told{
 		{name: "rests", want: "BUSY 500"},
-		{name: "rests after PINGs", says: "PING\r\nPING\r\n", pongs: 2, want: "BUSY 500"},
-		{name: "PINGs too often", says: strings.Repeat("PING\r\n", maxPings+1), pongs: maxPings, want: "ERR"},
-		{name: "half a line", says: "OPEN a k c=fe", want: "ERR"},
-		{name: "no line", says: "HELLO\r\n", want: "ERR"},
-		{name: "rests, makes room", meanwhile: room, want: "BUSY 500"},
-		{name: "half a line, makes room", says: "OPEN a k c=fe", meanwhile: room, want: "BUSY 500"},
-		{name: "rests to the end", meanwhile: end, want: "BUSY 500"},
-		{name: "rests to the end after a PING", says: "PING\r\n", pongs: 1, meanwhile: end, want: "BUSY 500"},
-		{name: "half a line at the end", says: "OPEN a k c=fe", meanwhile: end, want: "BUSY 500"},
+		{name: "rests after PINGs", clientWrites: "PING\r\nPING\r\n", pongs: 2, want: "BUSY 500"},
+		{name: "PINGs too often", clientWrites: strings.Repeat("PING\r\n", maxPings+1), pongs: maxPings, want: "ERR"},
+		{name: "half a line", clientWrites: "OPEN a k c=fe", want: "ERR"},
+		{name: "no line", clientWrites: "HELLO\r\n", want: "ERR"},
+		{name: "rests, makes room", meanwhile: makeCapacity, want: "BUSY 500"},
+		{name: "half a line, makes room", clientWrites: "OPEN a k c=fe", meanwhile: makeCapacity, want: "BUSY 500"},
+		{name: "rests to the end", meanwhile: drain, want: "BUSY 500"},
+		{name: "rests to the end after a PING", clientWrites: "PING\r\n", pongs: 1, meanwhile: drain, want: "BUSY 500"},
+		{name: "half a line at the end", clientWrites: "OPEN a k c=fe", meanwhile: drain, want: "BUSY 500"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -107,7 +107,7 @@
 			go func() { served <- s.Serve(l) }()
 			near, far := connPair(t)
 			l <- &crossingConn{TCPConn: near, far: far}
-			fmt.Fprint(far, tt.says)
+			fmt.Fprint(far, tt.clientWrites)
 			r := bufio.NewReader(far)
 			for range tt.pongs {
 				if text, err := r.ReadString('\n'); text != "PONG\r\n" {
--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -68,17 +68,17 @@
 		w.log.change(func(v *replog.View) { v.WithinLease, v.ConfirmedAt = true, time.Now() })
 		done := make(chan struct{})
 		go func() { defer close(done); w.agent.Run(ctx) }()
-		said := agentapi.Report{}
-		var gathered agentapi.Reassembler
-		node := func() {
+		report := agentapi.Report{}
+		var reassembler agentapi.Reassembler
+		pollAgent := func() {
 			time.Sleep(150 * time.Millisecond)
 			if half := time.Now().UnixNano() / int64(750*time.Millisecond); half%2 == 1 { // the others have used nothing
 				for i := range 5 {
 					w.agent.Gossip.Receive(fmt.Appendf(nil, `{"used":"n%d","half":%d,"paths":{}}`, i+2, half))
 				}
 			}
-			gathered.FillProgress(&said)
-			raw, err := json.Marshal(said)
+			reassembler.FillProgress(&report)
+			raw, err := json.Marshal(report)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -86,16 +86,16 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			var told agentapi.Response
-			if err := json.Unmarshal([]byte(answer), &told); err != nil {
+			var response agentapi.Response
+			if err := json.Unmarshal([]byte(answer), &response); err != nil {
 				t.Fatal(err)
 			}
-			if wire, ok := gathered.AddTable(&told); ok {
+			if wire, ok := reassembler.AddTable(&response); ok {
 				raw, _ := json.Marshal(wire.Set)
 				w.writeTranscript("agent", "to its node: whole %v, routes %s, gone %v", wire.Complete, raw, wire.Removed)
-				said.TableIndex = wire.Index
+				report.TableIndex = wire.Index
 			}
-			if r, ok := gathered.AddLease(&told); ok {
+			if r, ok := reassembler.AddLease(&response); ok {
 				raw, _ := json.Marshal(r.Allocated)
 				w.writeTranscript("agent", "to its node: rights of half %d %s", r.HalfEpoch%2, raw)
 			}
@@ -121,7 +121,7 @@
 			}
 			_ = c.conn.Close()
 			w.writeTranscript("agent", "%s", strings.TrimSpace(answer))
-			node()
+			pollAgent()
 		}
 		goldie.New(t).Assert(t, "accounts", w.transcript.Bytes())
 		cancel()
@@ -134,16 +134,16 @@
 func TestOmittedUsageCountsAsTheLargestOmitted(t *testing.T) {
 	free := account.Limits{Connections: 5, SetupRate: -1, RetryRate: -1, ProbeRate: -1}
 	s := &logentry.State{Accounts: account.State{Nodes: map[string]*account.Node{"x": {}, "y": {Limits: free}, "z": {}}}}
-	word := func(half int64, rest float64) gossip.Usage {
+	usage := func(half int64, rest float64) gossip.Usage {
 		return gossip.Usage{Usage: account.Usage{Member: "n", HalfEpoch: half, UsedBefore: map[string]account.Amounts{"x": {Setups: 9}}}, OmittedMax: account.Amounts{Setups: rest}}
 	}
 	for _, tt := range []struct {
 		use  gossip.Usage
 		want map[string]account.Amounts
 	}{
-		{word(7, 2), map[string]account.Amounts{"x": {Setups: 9}, "z": {Setups: 2}}},
-		{word(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
-		{word(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
+		{usage(7, 2), map[string]account.Amounts{"x": {Setups: 9}, "z": {Setups: 2}}},
+		{usage(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
+		{usage(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
 	} {
 		if got := completeUsages([]gossip.Usage{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -161,7 +161,7 @@
 	lease.TokensExpireAt -= a.ClockOffset
 	response := agentapi.Response{QuotaLease: lease}
 	if a.Accounts != nil && a.Log != nil {
-		a.routeTables.recordNodeState(&report)
+		a.routeTables.updateNodeState(&report)
 		a.routeTables.respond(&report, &response)
 		a.allocator.respond(a, a.Clock(), a.Log.View(), &report, &response)
 	}
--- a/internal/fleet/agent/objectives.go
+++ b/internal/fleet/agent/objectives.go
@@ -92,7 +92,7 @@
 
 // measured takes the node's samples: whoever may lead is told of them. A node is never
 // another than the one beside this agent.
-func (k *objectiveKeeper) recordSamples(now time.Duration, samples []slo.Sample) {
+func (k *objectiveKeeper) queueSamples(now time.Duration, samples []slo.Sample) {
 	for _, sample := range samples[:min(len(samples), maxSamplesPerReport)] {
 		sample.Member, sample.Zone = k.name, k.zone
 		raw, err := json.Marshal(sample)
@@ -163,7 +163,7 @@
 	if a.objectives == nil || a.Log == nil {
 		return
 	}
-	a.objectives.recordSamples(a.Clock(), report.Samples)
+	a.objectives.queueSamples(a.Clock(), report.Samples)
 	if view := a.Log.View(); view.State != nil && view.State.Contracts.Version != report.ContractsVersion {
 		response.Contracts = contractList(view.State.Contracts)
 	}
--- a/internal/fleet/agent/objectives_test.go
+++ b/internal/fleet/agent/objectives_test.go
@@ -15,14 +15,14 @@
 	cfg.Regions = map[string][]string{"south": {"b", "c"}}
 	k := &objectiveKeeper{SLOOptions: SLOOptions{Config: slo.DefaultConfig(), TimeScale: 1, ScaledTime: func(at time.Duration) time.Duration { return at }, Zones: cfg}, name: "n1", zone: "a"}
 	members := []zonestatus.Member{{Name: "n2", Zone: "b", Alive: true}, {Name: "n3", Zone: "c", Alive: true}, {Name: "n4", Zone: "c"}}
-	see := func(member string, servers int, load float64) zonestatus.Report {
+	report := func(member string, servers int, load float64) zonestatus.Report {
 		return zonestatus.Report{Member: member, Observations: []zonestatus.Observation{{Zone: "a", Endpoints: servers, Load: load}, {Zone: "b", Endpoints: servers, Load: -1}, {Zone: "c", Endpoints: servers, WarmingUp: servers, Load: load}}}
 	}
-	words := []zonestatus.Report{see("n1", 2, 0.4), see("n2", 2, 0.4), see("n3", 900, 90), see("n4", 0, 0)}
+	reports := []zonestatus.Report{report("n1", 2, 0.4), report("n2", 2, 0.4), report("n3", 900, 90), report("n4", 0, 0)}
 	state := zonestatus.State{Pairs: []zonestatus.PairStatus{{From: "a", To: "b", Status: zonestatus.Evacuated}, {From: "b", To: "a", Share: 0.5}}}
 	want := []slo.Region{{Name: "a", UsableFraction: 0.5, Capacity: 20, OtherTraffic: 8, Load: 0.4}, {Name: "south", Capacity: 26, UsableFraction: 6.0 / 26, Load: 0.4 * 6 / 26}}
 	want[1].OtherTraffic = 0 // below a tenth of what it bears
-	for i, r := range k.regions(state, words, members) {
+	for i, r := range k.regions(state, reports, members) {
 		if d := r.UsableFraction - want[i].UsableFraction; r.Name != want[i].Name || r.Capacity != want[i].Capacity || d > 1e-9 || d < -1e-9 || r.OtherTraffic-want[i].OtherTraffic > 1e-9 || r.Load-want[i].Load > 1e-9 {
 			t.Errorf("%+v, want %+v", r, want[i])
 		}
@@ -32,13 +32,13 @@
 // A sample counts where its member is there and stands where it says, and once.
 func TestSamplesCountOnlyFromTheMembersZone(t *testing.T) {
 	now := 1000 * time.Hour
-	tally := slo.NewRecorder(slo.DefaultConfig(), "n2", "b", 1)
+	recorder := slo.NewRecorder(slo.DefaultConfig(), "n2", "b", 1)
 	contracts := slo.State{Version: 1, Contracts: []slo.Contract{{Name: "gold"}}}
-	tally.SetContracts(contracts)
-	tally.Rotate(now)
-	tally.Record(now, "gold", "a", 20*time.Millisecond)
+	recorder.SetContracts(contracts)
+	recorder.Rotate(now)
+	recorder.Record(now, "gold", "a", 20*time.Millisecond)
 	over := now + slo.DefaultConfig().SampleInterval
-	s := tally.Rotate(over)
+	s := recorder.Rotate(over)
 	for name, tt := range map[string]struct {
 		at   string
 		want int
--- a/internal/fleet/agent/routetables.go
+++ b/internal/fleet/agent/routetables.go
@@ -34,7 +34,7 @@
 }
 
 // hear takes how many next hops the node has in each zone, and what table.
-func (t *routeTables) recordNodeState(report *agentapi.Report) {
+func (t *routeTables) updateNodeState(report *agentapi.Report) {
 	ready := map[string]int{}
 	for _, server := range report.Servers {
 		ready[server.Zone]++
--- a/internal/fleet/agent/testfleet_test.go
+++ b/internal/fleet/agent/testfleet_test.go
@@ -120,16 +120,16 @@
 // hear has the other members speak.
 func (w *testFleet) receiveReports(seq int) {
 	for i, z := range []string{"a", "b", "b", "c", "c"} {
-		sights := ""
+		observations := ""
 		for _, to := range []string{"a", "b", "c"} {
 			bad := 0
 			if w.failureShare[to] >= 0.5 {
 				bad = 2
 			}
-			sights += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failureShare[to])
+			observations += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failureShare[to])
 		}
 		w.agent.Gossip.Receive(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
-			i+2, seq, time.Now().UnixNano(), z, sights[1:]))
+			i+2, seq, time.Now().UnixNano(), z, observations[1:]))
 	}
 }
 
--- a/internal/fleet/agent/transcript_test.go
+++ b/internal/fleet/agent/transcript_test.go
@@ -36,12 +36,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var told agentapi.Response
-		if err := json.Unmarshal([]byte(answer), &told); err != nil {
+		var response agentapi.Response
+		if err := json.Unmarshal([]byte(answer), &response); err != nil {
 			t.Fatal(err)
 		}
-		w.halfEpoch = told.Period
-		if now, err := json.Marshal(told.Zones); err != nil || string(now) != last {
+		w.halfEpoch = response.Period
+		if now, err := json.Marshal(response.Zones); err != nil || string(now) != last {
 			if w.writeTranscript("node", "%s", line); seq > 0 {
 				w.transcript.Truncate(w.transcript.Len() - len(line) - 1)
 				w.transcript.WriteString("...\n")
--- a/internal/proxy/handover_start_test.go
+++ b/internal/proxy/handover_start_test.go
@@ -32,24 +32,24 @@
 
 // holds brings up a connection whose caller's line is on its way to a next hop that does
 // not take it, and then has it yielded.
-func startBlockedHandover(t *testing.T) (b *fixture, h *fakeSuccessor, line *blockedConn) {
+func startBlockedHandover(t *testing.T) (b *fixture, successor *fakeSuccessor, upstreamConn *blockedConn) {
 	t.Helper()
-	line = &blockedConn{writing: make(chan struct{}, 9), release: make(chan struct{})}
+	upstreamConn = &blockedConn{writing: make(chan struct{}, 9), release: make(chan struct{})}
 	first := true
 	b = startSessionOn(t, func() (near, far net.Conn) {
 		near, far = connPair(t)
 		if !first {
-			line.TCPConn, near = near.(*net.TCPConn), line
+			upstreamConn.TCPConn, near = near.(*net.TCPConn), upstreamConn
 		}
 		first = false
 		return near, far
 	})
-	h = newFakeSuccessor(t)
+	successor = newFakeSuccessor(t)
 	b.establish(t)
 	write(t, b.client, "one\r\n")
-	receive(t, line.writing)
-	b.session.HandOver(h)
-	return b, h, line
+	receive(t, upstreamConn.writing)
+	b.session.HandOver(successor)
+	return b, successor, upstreamConn
 }
 
 // reset tells whether the other side has reset a connection, also behind its end, where
@@ -72,13 +72,13 @@
 // and its last one reaches the caller whatever that still sends. A move wins.
 func TestOwnsSessionUntilBothRelaysStop(t *testing.T) {
 	t.Run("a line", func(t *testing.T) {
-		b, h, line := startBlockedHandover(t)
+		b, successor, upstreamConn := startBlockedHandover(t)
 		write(t, b.upstream, "LOAD 7\r\n")
 		b.expectLine(t, b.clientReader, "LOAD 7\r\n")
-		line.once.Do(func() { close(line.release) })
+		upstreamConn.once.Do(func() { close(upstreamConn.release) })
 		b.expectLine(t, b.upstreamReader, "one\r\n")
-		receive(t, h.offered)
-		h.accepts <- false
+		receive(t, successor.offered)
+		successor.accepts <- false
 		b.expectLine(t, b.clientReader, "MOVE\r\n")
 	})
 	for name, do := range map[string]func(b *fixture) (last string){
@@ -87,7 +87,7 @@
 		"the module's move": func(b *fixture) string { b.session.Migrate(); return "MOVE\r\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b, h, _ := startBlockedHandover(t)
+			b, successor, _ := startBlockedHandover(t)
 			write(t, b.client, "two\r\n") // unread here: a plain close would reset
 			last := do(b)
 			receive(t, b.finished)
@@ -98,7 +98,7 @@
 				t.Errorf("the caller read %q, %v; want %q", got, err, last)
 			}
 			select {
-			case <-h.offered:
+			case <-successor.offered:
 				t.Error("it was handed over as well")
 			default:
 			}
--- a/internal/proxy/handover_test.go
+++ b/internal/proxy/handover_test.go
@@ -26,7 +26,7 @@
 		fakeObserver: &fakeObserver{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}}
 }
 
-func (h *fakeSuccessor) Take(s proxy.EstablishedSession, caller, hop net.Conn) bool {
+func (h *fakeSuccessor) Take(state proxy.EstablishedSession, client, upstream net.Conn) bool {
 	copied := func(c net.Conn) net.Conn { // as it would come to another process
 		file, err := c.(interface{ File() (*os.File, error) }).File()
 		if err != nil {
@@ -39,19 +39,19 @@
 		}
 		return c
 	}
-	s.FromClient, s.FromUpstream = append([]byte{}, s.FromClient...), append([]byte{}, s.FromUpstream...)
-	s.Gate = proxy.NewCommitGate()
-	h.state = s
-	x := proxy.Inherit(s, lineproto.Codec{}, h.fakeObserver, copied(caller), copied(hop))
-	go func() { defer close(h.finished); x.Run() }()
+	state.FromClient, state.FromUpstream = append([]byte{}, state.FromClient...), append([]byte{}, state.FromUpstream...)
+	state.Gate = proxy.NewCommitGate()
+	h.state = state
+	session := proxy.Inherit(state, lineproto.Codec{}, h.fakeObserver, copied(client), copied(upstream))
+	go func() { defer close(h.finished); session.Run() }()
 	close(h.offered)
-	takes := <-h.accepts
-	if takes {
-		s.Gate.Commit()
+	accepts := <-h.accepts
+	if accepts {
+		state.Gate.Commit()
 	} else {
-		s.Gate.Abort()
+		state.Gate.Abort()
 	}
-	return takes
+	return accepts
 }
 
 // Whatever comes on a connection while it is handed over comes once, and to its one owner:
@@ -60,95 +60,95 @@
 // before.
 func TestNothingIsLostOrDuplicatedDuringHandover(t *testing.T) {
 	abort := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }
-	endHop := func(b *fixture) { b.upstream.Close() }
+	closeUpstream := func(b *fixture) { b.upstream.Close() }
 	const half, bye = "half\r\n", "half\r\nBYE\r\n"
-	events := []struct {
-		name                     string
-		fromCaller, fromHop      string // said at the crossing, and then
-		do                       func(b *fixture)
-		laterCaller, laterHop    string // said once it is owned again
-		toHop, toCaller          string // all that goes on
-		ended                    balance.Outcome
-		callerGone, hopGone, cut bool // cut: the caller is reset
+	cases := []struct {
+		name                                   string
+		clientWrites, upstreamWrites           string // said at the crossing, and then
+		event                                  func(b *fixture)
+		clientWritesLater, upstreamWritesLater string // said once it is owned again
+		upstreamReads, clientReads             string // all that goes on
+		outcome                                balance.Outcome
+		clientGone, upstreamGone, clientReset  bool // cut: the caller is reset
 	}{
-		{name: "nothing", laterCaller: "f\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half, toCaller: bye},
-		{name: "the caller's line", fromCaller: "f\r\none\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half + "one\r\n", toCaller: bye},
-		{name: "half the caller's line", fromCaller: "f", laterCaller: "\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half, toCaller: bye},
-		{name: "the next hop's line", fromHop: "lf\r\n", laterHop: "BYE\r\n", laterCaller: "f\r\n", toHop: half, toCaller: bye},
-		{name: "half the next hop's line", fromHop: "l", laterHop: "f\r\nBYE\r\n", laterCaller: "f\r\n", toHop: half, toCaller: bye},
-		{name: "BYE", fromHop: "lf\r\nBYE\r\n", do: endHop, toCaller: bye, hopGone: true},
-		{name: "MOVE", fromHop: "lf\r\nMOVE\r\n", do: endHop, toCaller: half + "MOVE\r\n", ended: balance.Cancelled, hopGone: true},
-		{name: "the next hop's end", fromHop: "lf\r\n", do: endHop, toCaller: half, ended: balance.Reset, hopGone: true},
-		{name: "the next hop's reset", do: func(b *fixture) { abort(b.upstream) }, ended: balance.Reset, hopGone: true, cut: true},
-		{name: "the caller's end", fromCaller: "f\r\nlast\r\n", do: func(b *fixture) { b.client.Close() }, toHop: half + "last\r\n", ended: balance.Cancelled, callerGone: true},
-		{name: "the caller's reset", do: func(b *fixture) { abort(b.client) }, ended: balance.Cancelled, callerGone: true},
-		{name: "the module's move", do: func(b *fixture) { b.session.Migrate() }, laterCaller: "f\r\n", laterHop: "lf\r\nBYE\r\n", toHop: half, toCaller: bye},
+		{name: "nothing", clientWritesLater: "f\r\n", upstreamWritesLater: "lf\r\nBYE\r\n", upstreamReads: half, clientReads: bye},
+		{name: "the caller's line", clientWrites: "f\r\none\r\n", upstreamWritesLater: "lf\r\nBYE\r\n", upstreamReads: half + "one\r\n", clientReads: bye},
+		{name: "half the caller's line", clientWrites: "f", clientWritesLater: "\r\n", upstreamWritesLater: "lf\r\nBYE\r\n", upstreamReads: half, clientReads: bye},
+		{name: "the next hop's line", upstreamWrites: "lf\r\n", upstreamWritesLater: "BYE\r\n", clientWritesLater: "f\r\n", upstreamReads: half, clientReads: bye},
+		{name: "half the next hop's line", upstreamWrites: "l", upstreamWritesLater: "f\r\nBYE\r\n", clientWritesLater: "f\r\n", upstreamReads: half, clientReads: bye},
+		{name: "BYE", upstreamWrites: "lf\r\nBYE\r\n", event: closeUpstream, clientReads: bye, upstreamGone: true},
+		{name: "MOVE", upstreamWrites: "lf\r\nMOVE\r\n", event: closeUpstream, clientReads: half + "MOVE\r\n", outcome: balance.Cancelled, upstreamGone: true},
+		{name: "the next hop's end", upstreamWrites: "lf\r\n", event: closeUpstream, clientReads: half, outcome: balance.Reset, upstreamGone: true},
+		{name: "the next hop's reset", event: func(b *fixture) { abort(b.upstream) }, outcome: balance.Reset, upstreamGone: true, clientReset: true},
+		{name: "the caller's end", clientWrites: "f\r\nlast\r\n", event: func(b *fixture) { b.client.Close() }, upstreamReads: half + "last\r\n", outcome: balance.Cancelled, clientGone: true},
+		{name: "the caller's reset", event: func(b *fixture) { abort(b.client) }, outcome: balance.Cancelled, clientGone: true},
+		{name: "the module's move", event: func(b *fixture) { b.session.Migrate() }, clientWritesLater: "f\r\n", upstreamWritesLater: "lf\r\nBYE\r\n", upstreamReads: half, clientReads: bye},
 	}
 	const before, after, refused = "before the answer", "after it", "before it refuses"
 	for _, when := range []string{before, after, refused} {
-		for _, e := range events {
-			t.Run(when+"/"+e.name, func(t *testing.T) {
-				b, h := startSession(t), newFakeSuccessor(t)
+		for _, tt := range cases {
+			t.Run(when+"/"+tt.name, func(t *testing.T) {
+				b, successor := startSession(t), newFakeSuccessor(t)
 				b.establish(t)
 				write(t, b.upstream, "whole\r\nha")
 				b.expectLine(t, b.clientReader, "whole\r\n")
 				write(t, b.client, "whole\r\nhal")
 				b.expectLine(t, b.upstreamReader, "whole\r\n")
 				cross := func() {
-					write(t, b.client, e.fromCaller)
-					write(t, b.upstream, e.fromHop)
-					if e.do != nil {
-						e.do(b)
+					write(t, b.client, tt.clientWrites)
+					write(t, b.upstream, tt.upstreamWrites)
+					if tt.event != nil {
+						tt.event(b)
 					}
 				}
-				b.session.HandOver(h)
-				receive(t, h.offered)
-				if string(h.state.FromClient) != "hal" || string(h.state.FromUpstream) != "ha" || h.state.PendingSince.IsZero() {
-					t.Errorf("handed over: %q, %q, pending since %v", h.state.FromClient, h.state.FromUpstream, h.state.PendingSince)
+				b.session.HandOver(successor)
+				receive(t, successor.offered)
+				if string(successor.state.FromClient) != "hal" || string(successor.state.FromUpstream) != "ha" || successor.state.PendingSince.IsZero() {
+					t.Errorf("handed over: %q, %q, pending since %v", successor.state.FromClient, successor.state.FromUpstream, successor.state.PendingSince)
 				}
 				if when != after {
 					cross()
 				}
-				h.accepts <- when != refused
+				successor.accepts <- when != refused
 				receive(t, b.ended)
 				if when == refused {
-					if got, err := io.ReadAll(b.clientReader); !e.callerGone && (err != nil || string(got) != "MOVE\r\n") {
+					if got, err := io.ReadAll(b.clientReader); !tt.clientGone && (err != nil || string(got) != "MOVE\r\n") {
 						t.Errorf("its caller read %q, %v; want MOVE and its end", got, err)
 					}
 					if got, _ := io.ReadAll(b.upstreamReader); len(got) > 0 {
 						t.Errorf("the next hop read %q", got)
 					}
-					receive(t, h.finished)
+					receive(t, successor.finished)
 					return
 				}
 				receive(t, b.finished)
 				if when == after {
 					cross()
 				}
-				if e.laterCaller != "" {
-					write(t, b.client, e.laterCaller)
+				if tt.clientWritesLater != "" {
+					write(t, b.client, tt.clientWritesLater)
 				}
-				if !e.hopGone {
-					got := make([]byte, len(e.toHop))
-					if _, err := io.ReadFull(b.upstreamReader, got); err != nil || string(got) != e.toHop {
-						t.Errorf("the next hop read %q, %v; want %q", got, err, e.toHop)
+				if !tt.upstreamGone {
+					got := make([]byte, len(tt.upstreamReads))
+					if _, err := io.ReadFull(b.upstreamReader, got); err != nil || string(got) != tt.upstreamReads {
+						t.Errorf("the next hop read %q, %v; want %q", got, err, tt.upstreamReads)
 					}
-					write(t, b.upstream, e.laterHop)
+					write(t, b.upstream, tt.upstreamWritesLater)
 				}
-				if e.callerGone {
+				if tt.clientGone {
 					if got, _ := io.ReadAll(b.upstreamReader); len(got) > 0 {
 						t.Errorf("the next hop read %q as well", got)
 					}
 				}
 				b.upstream.Close()
-				if got, err := io.ReadAll(b.clientReader); !e.callerGone && (string(got) != e.toCaller || (err != nil) != e.cut) {
-					t.Errorf("the caller read %q, %v; want %q", got, err, e.toCaller)
+				if got, err := io.ReadAll(b.clientReader); !tt.clientGone && (string(got) != tt.clientReads || (err != nil) != tt.clientReset) {
+					t.Errorf("the caller read %q, %v; want %q", got, err, tt.clientReads)
 				}
 				b.client.Close()
-				if how := receive(t, h.ended); how != e.ended {
-					t.Errorf("at the heir it ended as %v, want %v", how, e.ended)
+				if outcome := receive(t, successor.ended); outcome != tt.outcome {
+					t.Errorf("at the heir it ended as %v, want %v", outcome, tt.outcome)
 				}
-				receive(t, h.finished)
+				receive(t, successor.finished)
 			})
 		}
 	}
--- a/internal/proxy/ordering_test.go
+++ b/internal/proxy/ordering_test.go
@@ -21,8 +21,8 @@
 	write(t, b.upstream, "whole\r\n"+strings.Repeat("x", bufconn.BufferSize+1))
 	b.expectLine(t, b.clientReader, "whole\r\n")
 	b.expectLine(t, b.clientReader, "MOVE\r\n")
-	if how := receive(t, b.ended); how != balance.Reset {
-		t.Errorf("ended as %v, want Reset", how)
+	if outcome := receive(t, b.ended); outcome != balance.Reset {
+		t.Errorf("ended as %v, want Reset", outcome)
 	}
 	b.client.Close()
 	receive(t, b.finished)
@@ -31,22 +31,22 @@
 // What a next hop has on its way when its caller is moved, half a line, does not reset it:
 // the caller's last line is read and its end seen, and there is one MOVE.
 func TestPartialUpstreamLineDuringMigration(t *testing.T) {
-	for name, says := range map[string]string{"we move": "", "both say it": "MOVE\r\n"} {
+	for name, upstreamLine := range map[string]string{"we move": "", "both say it": "MOVE\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			b := startSession(t)
 			b.establish(t)
 			write(t, b.client, "last\r\n")
 			b.expectLine(t, b.upstreamReader, "last\r\n")
-			write(t, b.upstream, says)
-			if says != "" {
-				b.expectLine(t, b.clientReader, says)
+			write(t, b.upstream, upstreamLine)
+			if upstreamLine != "" {
+				b.expectLine(t, b.clientReader, upstreamLine)
 			}
 			b.session.Migrate()
-			if says == "" {
+			if upstreamLine == "" {
 				b.expectLine(t, b.clientReader, "MOVE\r\n")
 			}
 			for i := range 3 { // the first would tell that nobody reads any more, the next would fail
-				if _, err := fmt.Fprintf(b.upstream, "half a line %d", i); err != nil && says == "" {
+				if _, err := fmt.Fprintf(b.upstream, "half a line %d", i); err != nil && upstreamLine == "" {
 					t.Errorf("piece %d: %v", i, err)
 				}
 			}
@@ -81,19 +81,19 @@
 // UP and what ends its connection in one segment: the caller has UP, and then the end.
 func TestUpstreamEndsRightAfterUp(t *testing.T) {
 	ends := map[string]struct {
-		end  func(hop net.Conn)
+		end  func(upstream net.Conn)
 		want balance.Outcome
 	}{
-		"ends":     {func(hop net.Conn) { hop.Close() }, balance.Reset},
-		"says BYE": {func(hop net.Conn) { fmt.Fprint(hop, "BYE\r\n"); hop.Close() }, balance.OK},
+		"ends":     {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
+		"says BYE": {func(upstream net.Conn) { fmt.Fprint(upstream, "BYE\r\n"); upstream.Close() }, balance.OK},
 	}
 	for name, tt := range ends {
 		t.Run(name, func(t *testing.T) {
 			b := startSession(t)
 			tt.end(b.upstream) // it lies there before anybody is told of UP
 			b.establish(t)
-			if how := receive(t, b.ended); how != tt.want {
-				t.Errorf("ended as %v, want %v", how, tt.want)
+			if outcome := receive(t, b.ended); outcome != tt.want {
+				t.Errorf("ended as %v, want %v", outcome, tt.want)
 			}
 			b.client.Close()
 			receive(t, b.finished)
@@ -103,9 +103,9 @@
 
 // A move that is asked for between UP and its relay: UP goes first, then MOVE.
 func TestMigrationBeforeUpIsRelayed(t *testing.T) {
-	near, caller := connPair(t)
-	hopNear, hop := connPair(t)
-	b := newFixture(near, caller, hopNear, hop)
+	near, client := connPair(t)
+	nodeSide, upstream := connPair(t)
+	b := newFixture(near, client, nodeSide, upstream)
 	if !b.session.Establish("UP r1", "s1", b.upstreamConn) {
 		t.Fatal("Up was not taken")
 	}
@@ -114,10 +114,10 @@
 	b.run()
 	b.expectLine(t, b.clientReader, "UP r1\r\n")
 	b.expectLine(t, b.clientReader, "MOVE\r\n")
-	if how := receive(t, b.ended); how != balance.Cancelled {
-		t.Errorf("ended as %v", how)
+	if outcome := receive(t, b.ended); outcome != balance.Cancelled {
+		t.Errorf("ended as %v", outcome)
 	}
-	caller.Close()
+	client.Close()
 	receive(t, b.finished)
 }
 
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -65,21 +65,21 @@
 	return startSessionOn(t, func() (near, far net.Conn) { return connPair(t) })
 }
 
-func startSessionOn(t *testing.T, pair func() (near, far net.Conn)) *fixture {
+func startSessionOn(t *testing.T, pair func() (clientNear, far net.Conn)) *fixture {
 	t.Helper()
-	near, caller := pair()
-	hopNear, hop := pair()
-	b := newFixture(near, caller, hopNear, hop)
+	clientNear, client := pair()
+	upstreamNear, upstream := pair()
+	b := newFixture(clientNear, client, upstreamNear, upstream)
 	b.run()
 	return b
 }
 
 // newBench is a bench whose transaction does not run yet.
-func newFixture(near, caller, hopNear, hop net.Conn) *fixture {
-	w := &fakeObserver{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
-	b := &fixture{fakeObserver: w, client: caller, upstream: hop, upstreamConn: bufconn.New(hopNear), clientReader: bufio.NewReader(caller),
-		upstreamReader: bufio.NewReader(hop), finished: make(chan struct{})}
-	b.session = proxy.New(proxy.Request{ID: "a"}, fakeEncoder{}, lineproto.Codec{}, w, bufconn.New(near))
+func newFixture(clientNear, client, upstreamNear, upstream net.Conn) *fixture {
+	observer := &fakeObserver{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
+	b := &fixture{fakeObserver: observer, client: client, upstream: upstream, upstreamConn: bufconn.New(upstreamNear), clientReader: bufio.NewReader(client),
+		upstreamReader: bufio.NewReader(upstream), finished: make(chan struct{})}
+	b.session = proxy.New(proxy.Request{ID: "a"}, fakeEncoder{}, lineproto.Codec{}, observer, bufconn.New(clientNear))
 	return b
 }
 
@@ -143,8 +143,8 @@
 	if took := time.Since(begun); took < time.Second || took > 7*time.Second {
 		t.Errorf("moved after %v", took)
 	}
-	if how := receive(t, b.ended); how != balance.Reset {
-		t.Errorf("ended as %v, want Reset", how)
+	if outcome := receive(t, b.ended); outcome != balance.Reset {
+		t.Errorf("ended as %v, want Reset", outcome)
 	}
 	if _, err := b.upstreamReader.ReadByte(); err == nil {
 		t.Error("the next hop's leg is still open")
@@ -166,8 +166,8 @@
 		b.expectLine(t, b.clientReader, "yes\r\n")
 		b.session.Migrate()
 		b.expectLine(t, b.clientReader, "MOVE\r\n")
-		if how := receive(t, b.ended); how != balance.Cancelled {
-			t.Errorf("ended as %v, want Cancelled", how)
+		if outcome := receive(t, b.ended); outcome != balance.Cancelled {
+			t.Errorf("ended as %v, want Cancelled", outcome)
 		}
 		b.client.Close()
 		receive(t, b.finished)
@@ -201,8 +201,8 @@
 			b := startSession(t)
 			b.establish(t)
 			tt.end(t, b)
-			if how := receive(t, b.ended); how != tt.want {
-				t.Errorf("ended as %v, want %v", how, tt.want)
+			if outcome := receive(t, b.ended); outcome != tt.want {
+				t.Errorf("ended as %v, want %v", outcome, tt.want)
 			}
 			if got, _ := b.clientReader.ReadString('\n'); got != tt.passed {
 				t.Errorf("the caller's last line is %q, want %q", got, tt.passed)
