--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -1,83 +1,102 @@
 package proxy
 
-// How a caller leg is served to its end, and what its reader does.
-
 import (
-	"errors"
 	"time"
 
 	"coralrelay/internal/bufconn"
 )
 
 const (
-	// linger is how long a caller that has its last line may take to end.
+	// clientLinger is how long a client may take to close after its last line.
 	clientLinger = 250 * time.Millisecond
-	// hopLinger is that of a next hop whose caller was moved: it has nothing to read first.
+	// upstreamLinger is the same for an upstream whose client was migrated. It is shorter,
+	// as an upstream has nothing to read first.
 	upstreamLinger = 100 * time.Millisecond
 )
 
-// Run serves the caller leg to its end: the final answer, and after UP the
-// relay. It returns when both legs are closed.
+// Run serves the session to its end: the final answer and, after UP, the relay. It returns
+// when both connections are closed.
 func (s *Session) Run() {
-	done := make(chan struct{})
-	go func() { // ends with the caller leg, which is closed below
-		defer close(done)
+	started := make(chan struct{})
+	go func() { // ends with the client's connection, which is closed below
+		defer close(started)
 		s.readClient()
 	}()
-	var upstream *bufconn.Conn // after UP
-	a, answered := <-s.finalAnswer
+	var readerDone <-chan struct{} = started
+	var upstream *bufconn.Conn // to be closed, after UP
+	final, answered := <-s.finalAnswer
 	switch {
-	case !answered: // the caller has left
-	case a.upstream == nil:
-		if s.client.WriteLine(a.line, time.Now().Add(writeTimeout)) == nil {
-			if a.rejected {
-				s.Metrics.Rejected()
-			} else {
-				s.Metrics.Failed()
-			}
-		}
-		s.client.CloseWrite()
+	case !answered: // the client has left
+	case final.upstream == nil:
+		s.writeFinalAnswer(final)
 	default:
-		upstream = a.upstream
-		reason := s.relayToClient(a)
-		if reason == EndHandedOver {
-			<-done
-			if reason = s.offerToSuccessor(a.upstream); reason == EndMigrated {
-				done = s.discardClientInput() // beside the write, as its caller may be writing too
-				_ = s.client.WriteLine(s.moveLine(), time.Now().Add(writeTimeout))
-				s.client.CloseWrite()
-			}
-		} else if s.isHandingOver() {
-			_ = upstream.Close() // the caller's reader has stopped, or does with this
-			<-done
-			done = s.discardClientInput()
+		upstream, readerDone = s.runEstablished(final, readerDone)
+	}
+	s.closeBoth(upstream, readerDone)
+}
+
+// writeFinalAnswer writes an answer other than UP and counts it.
+func (s *Session) writeFinalAnswer(final answer) {
+	if s.client.WriteLine(final.line, time.Now().Add(writeTimeout)) == nil {
+		if final.rejected {
+			s.Metrics.Rejected()
+		} else {
+			s.Metrics.Failed()
 		}
-		if reason == EndHandedOver {
-			upstream.Release() // only this process's copy: what comes on it is the other one's to read
-			upstream = nil
+	}
+	s.client.CloseWrite()
+}
+
+// runEstablished relays until the session ends, or hands it over, and notifies the
+// observer. It returns the upstream's connection as far as it is still to be closed, and a
+// channel that is closed when nothing reads from the client any more.
+func (s *Session) runEstablished(up answer, readerDone <-chan struct{}) (*bufconn.Conn, <-chan struct{}) {
+	upstream := up.upstream
+	reason := s.relayToClient(up)
+	if reason == EndHandedOver {
+		<-readerDone
+		reason = s.offerToSuccessor(upstream)
+		if reason == EndMigrated {
+			readerDone = s.discardClientInput() // beside the write, as the client may be writing too
+			_ = s.client.WriteLine(s.moveLine(), time.Now().Add(writeTimeout))
+			s.client.CloseWrite()
 		}
-		s.observer.PlacementEnded(s, reason.outcome())
+	} else if s.isHandingOver() {
+		_ = upstream.Close() // the client's reader has stopped, or stops with this
+		<-readerDone
+		readerDone = s.discardClientInput()
+	}
+	if reason == EndHandedOver {
+		upstream.Release() // only this process's copy: what arrives is the successor's to read
+		upstream = nil
 	}
-	// The reader still runs: it drops what the caller writes, so that the
-	// close does not reset the connection under the last line.
+	s.observer.PlacementEnded(s, reason.outcome())
+	return upstream, readerDone
+}
+
+// closeBoth closes both connections after what was written last could be read. Whatever
+// reads from the client goes on meanwhile and discards its input, so that the close does
+// not reset the connection before the client has read its last line.
+func (s *Session) closeBoth(upstream *bufconn.Conn, readerDone <-chan struct{}) {
 	s.mu.Lock()
 	s.clientClosing = true
 	_ = s.client.SetReadDeadline(time.Now().Add(clientLinger))
 	s.mu.Unlock()
 	if upstream != nil {
-		// Closed already, unless its caller was moved: what it has on its way then, half a
-		// line perhaps, must not reset it under the caller's last line.
+		// It is closed already, unless the client was migrated. Then it may have half a line
+		// on its way, which must not reset it before it has read the client's last line.
 		_ = upstream.SetReadDeadline(time.Now().Add(upstreamLinger))
 		upstream.DiscardInput()
 		upstream.Release()
 	}
-	<-done
+	<-readerDone
 	s.client.Release()
 }
 
-// drop reads and drops what the caller still writes, until its leg's read deadline.
-func (s *Session) discardClientInput() (done chan struct{}) {
-	done = make(chan struct{})
+// discardClientInput discards what the client still sends, until the read deadline that
+// closeBoth sets. The returned channel is closed then.
+func (s *Session) discardClientInput() <-chan struct{} {
+	done := make(chan struct{})
 	_ = s.client.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
@@ -85,53 +104,3 @@
 	}()
 	return done
 }
-
-// readCaller notices that the caller leaves and, after UP, passes its lines on.
-func (s *Session) readClient() {
-	switch err := s.awaitAnswer(); {
-	case err == errTooMuchBeforeUp:
-		// It breaks the protocol, and behind what it sent its end would not be
-		// seen: it gets its answer now, unless it has just got one.
-		s.GiveUp()
-	case err != nil:
-		s.clientLeft()
-		return
-	}
-	s.mu.Lock()
-	upstream := s.upstream
-	if !s.clientClosing && s.successor == nil {
-		_ = s.client.SetReadDeadline(time.Time{})
-	}
-	s.mu.Unlock()
-	if upstream == nil || s.relayToUpstream(upstream) {
-		s.clientLeft()
-	}
-	if s.isHandingOver() {
-		// What else it sends is the heir's. Only now may the relay stop: a next hop that
-		// is not read any more might not take the line that was on its way to it.
-		upstream.InterruptRead()
-		return
-	}
-	// The next hop has ended: the relay sees it too and bounds this read.
-	s.client.DiscardInput()
-}
-
-// errTooEarly is a caller's that sends more before UP than a buffer holds.
-var errTooMuchBeforeUp = errors.New("too much sent before UP")
-
-// await returns when the caller is answered, or with an error if it has left
-// before or sent too much. Lines that come too early stay in the buffer. They must
-// not hide that their caller leaves, so it looks for more behind them, until Up
-// wakes it.
-func (s *Session) awaitAnswer() error {
-	for s.client.R.Buffered() < bufconn.BufferSize {
-		_, err := s.client.R.Peek(s.client.R.Buffered() + 1)
-		if s.ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return errTooMuchBeforeUp
-}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -1,6 +1,3 @@
-// Package exchange holds the transaction: the one object in which the caller's
-// side and the next hop's side meet. It keeps the promise of one final answer,
-// exactly once, and after UP relays lines both ways until either side ends.
 package proxy
 
 import (
@@ -14,128 +11,80 @@
 	"coralrelay/internal/metrics"
 )
 
-// Request is what a front tells of a transaction when it starts.
+// Request describes what a client asks for. It does not change.
 type Request = dispatch.Request
 
-// Opening words the first line for a next hop.
-type RequestEncoder interface {
-	ForwardLine(now, deadline time.Time) string
-}
-
-// Notice is what a next hop's line after UP says.
-type LineKind int
-
-// The notices.
-const (
-	LineOther LineKind = iota
-	LineLoadReport
-	LineMove
-	LineBye
-)
-
-// Front words what the exchange says to its caller, and reads what passes.
-type Codec interface {
-	Busy(pause time.Duration) string
-	Failed() string
-	Move() string
-	Classify(line []byte) LineKind
-}
-
-// Continuity lets a caller that is moved go on where it was. A transaction whose
-// caller did not ask for it has none.
-type Resumption interface {
-	// Begin returns the line that starts the stream at a next hop which answered
-	// with up; empty if it takes none. It may wait, but not beyond ctx.
-	StartLine(ctx context.Context, up string) string
-	// Passed is told each line of the next hop, before the caller is sent it.
-	Observe(line []byte)
-	// Ticket returns what the caller is to bring along; empty if nothing. All that
-	// was passed has been written, or will be before it.
-	Token() string
-}
-
-// End is how a connection that stood has ended.
-type EndReason int
-
-// The ends.
-const (
-	EndServed         EndReason = iota // the next hop said so
-	EndMigrated                        // the caller was asked to come again, by either of us
-	EndUpstreamClosed                  // the next hop broke it off
-	EndUpstreamSilent                  // the next hop stopped answering, or says what is no line
-	EndClientClosed                    // the caller ended it
-	EndHandedOver                      // another process goes on with it
-)
-
-// outcome is what the module is told of it.
-func (r EndReason) outcome() balance.Outcome {
-	switch r {
-	case EndServed:
-		return balance.OK
-	case EndUpstreamClosed, EndUpstreamSilent:
-		return balance.Reset
-	}
-	return balance.Cancelled
-}
-
-// Watcher is told what becomes of a transaction, as decide.Core has it. Its methods
-// must not wait for the transaction.
+// Observer is notified of a session's end; the dispatcher's event loop is one. Its methods
+// must not wait for the session.
 type Observer interface {
-	ClientGone(item dispatch.Placement)                              // while it waited for its answer, or was turned away meanwhile
-	PlacementEnded(item dispatch.Placement, outcome balance.Outcome) // after UP; nothing passes any more
+	// ClientGone is called when the client has left before its answer, or was given up.
+	ClientGone(item dispatch.Placement)
+	// PlacementEnded is called once for an established session, when nothing is relayed any more.
+	PlacementEnded(item dispatch.Placement, outcome balance.Outcome)
 }
 
-// answer is what the deciding side hands to the caller's side.
+// answer is a session's final answer, on its way from the dispatcher to the client.
 type answer struct {
-	line     string        // empty where another process has given it
-	upstream *bufconn.Conn // set if the line is a next hop's UP
-	server   string        // and then: whose
-	rejected bool          // else: it refuses rather than fails
+	line     string        // empty if another process has written it already
+	upstream *bufconn.Conn // set if the line is an upstream's UP
+	server   string        // and then the upstream's server id
+	rejected bool          // without an upstream: the request was rejected rather than failed
 }
 
-// Transaction is one request and the connection it becomes.
+// Session is one request and, once it is established, the connection between its client
+// and an upstream.
 type Session struct {
 	Request
 	RequestEncoder
-	Resumption                // nil if its caller did not ask for it
-	Metrics    *metrics.Class // counts its answer as written; nil if nobody asks
+	Resumption                // nil if the client did not ask for it; set before Run
+	Metrics    *metrics.Class // counts the final answer when it is written; nil if nothing counts it
 
 	codec    Codec
 	observer Observer
 	client   *bufconn.Conn
 
-	ctx         context.Context // ends when the caller has left or is answered
+	ctx         context.Context // ends when the session is settled
 	cancel      context.CancelFunc
-	finalAnswer chan answer // holds the one final answer
-
-	mu              sync.Mutex
-	settled         bool          // a final answer was given, or the caller has left
-	clientGone      bool          // the caller has left
-	upstream        *bufconn.Conn // after UP
-	server          string        // and whose it is
-	successor       Successor     // who is to go on with it; nil if nobody
-	handoverOffered bool          // it has been asked
-	migrating       bool          // a MOVE is wanted
-	clientClosing   bool          // the caller leg is about to be closed
-	pendingSince    time.Time     // when the oldest unanswered line of the caller went on
-	graceUsed       bool          // it was found missing, and is looked for once more
+	finalAnswer chan answer // buffers the one final answer; closed if the client left before it
+
+	mu              sync.Mutex    // guards what follows
+	settled         bool          // a final answer was given, or the client has left
+	clientGone      bool          // the client has left
+	upstream        *bufconn.Conn // nil before UP
+	server          string        // the upstream's server id
+	successor       Successor     // the process to hand the session over to; nil if none
+	handoverOffered bool          // the successor has been asked
+	migrating       bool          // the client is to be sent MOVE
+	clientClosing   bool          // the client's connection is about to be closed
+	pendingSince    time.Time     // when the oldest unanswered line of the client was sent on; zero if none is pending
+	graceUsed       bool          // the grace period for the pending line was granted
 }
 
-// New returns a transaction for a request that came on the caller leg.
+var _ dispatch.Placement = (*Session)(nil)
+
+// New returns a session for a request that was read from client. It is served by Run.
 func New(request Request, encoder RequestEncoder, codec Codec, observer Observer, client *bufconn.Conn) *Session {
-	s := &Session{Request: request, RequestEncoder: encoder, codec: codec, observer: observer, client: client, finalAnswer: make(chan answer, 1)}
+	s := &Session{
+		Request:        request,
+		RequestEncoder: encoder,
+		codec:          codec,
+		observer:       observer,
+		client:         client,
+		finalAnswer:    make(chan answer, 1),
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
 
-// Asked is the request, for the deciding side.
+// PlacementRequest returns the request, for the dispatcher.
 func (s *Session) PlacementRequest() *dispatch.Request { return &s.Request }
 
-// Context ends when no branch is wanted any more: the caller has left, or the
-// final answer was given.
+// Context ends when no attempt is needed any more: the client has left, or the final
+// answer was given.
 func (s *Session) Context() context.Context { return s.ctx }
 
-// settle gives the final answer, unless there is one or the caller has left.
+// settle gives the final answer. It returns false if there is one already, or the client
+// has left.
 func (s *Session) settle(a answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,36 +96,38 @@
 	s.finalAnswer <- a
 	s.cancel()
 	if a.upstream != nil {
-		s.client.InterruptRead() // its reader has lines to pass on from now
+		s.client.InterruptRead() // the client's reader relays lines from now on
 	}
 	return true
 }
 
-// Refuse gives the busy answer.
-func (s *Session) Reject(pause time.Duration) bool {
-	return s.settle(answer{line: s.codec.Busy(pause), rejected: true})
+// Reject gives the final answer that rejects the request. The client is asked to wait for
+// retryAfter, if that is positive. It returns false if the session was settled before.
+func (s *Session) Reject(retryAfter time.Duration) bool {
+	return s.settle(answer{line: s.codec.Busy(retryAfter), rejected: true})
 }
 
-// Fail gives the answer that promises nothing.
+// Fail gives the final answer that promises nothing. It returns false if the session was
+// settled before.
 func (s *Session) Fail() bool { return s.settle(answer{line: s.codec.Failed()}) }
 
-// GiveUp answers a caller for whom nobody can find a next hop in the time that is left, as
-// when the node ends, with what promises nothing; the deciding side forgets it.
+// GiveUp fails a session for which no upstream can be found in the time that is left, as
+// during shutdown, and lets the observer forget it. It does nothing to a settled session.
 func (s *Session) GiveUp() {
 	if s.Fail() {
 		s.observer.ClientGone(s)
 	}
 }
 
-// Up hands over a server's UP line and its leg, which now belongs to the
-// exchange. It is false if the transaction is over; the leg then stays with
-// the branch.
+// Establish gives the final answer UP, as the upstream worded it in line. The session owns
+// the upstream's connection from then on. If it returns false, the session was settled
+// before and the connection stays the caller's.
 func (s *Session) Establish(line, server string, upstream *bufconn.Conn) bool {
 	return s.settle(answer{line: line, server: server, upstream: upstream})
 }
 
-// Move asks the caller to come again, also where it was to be handed over and has not
-// been offered yet. Before UP it does nothing.
+// Migrate asks the client to reconnect. It also takes precedence over a handover that has
+// not been offered yet. Before UP it does nothing.
 func (s *Session) Migrate() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,23 +137,23 @@
 	}
 }
 
-// leave is called when the caller's leg has ended.
+// clientLeft is called when the client's connection has ended.
 func (s *Session) clientLeft() {
 	s.mu.Lock()
-	first := !s.settled
+	unanswered := !s.settled
 	s.settled, s.clientGone = true, true
 	if s.upstream != nil {
 		s.upstream.InterruptRead()
 	}
 	s.mu.Unlock()
-	if first {
+	if unanswered {
 		s.cancel()
 		close(s.finalAnswer)
 		s.observer.ClientGone(s)
 	}
 }
 
-// Standing tells whether the connection is up, and nobody has asked its caller to go.
+// IsEstablished reports whether the session is up and is neither migrated nor handed over.
 func (s *Session) IsEstablished() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
