--- a/internal/bufconn/conn.go
+++ b/internal/bufconn/conn.go
@@ -1,6 +1,10 @@
-// Package leg wraps one connection of a transaction: the caller leg or the leg
-// to a next hop. It stands on net/textproto; its buffers have one size, the
-// longest line, and come from one pool.
+// Package bufconn wraps a network connection, of a client or to an upstream, with buffers
+// for reading and writing lines. It builds on net/textproto; all buffers have one size, that
+// of the longest line, and come from one pool.
+//
+// The package starts no goroutines. Its methods return the errors of the connection, those
+// of a deadline included (os.ErrDeadlineExceeded), and bufio.ErrBufferFull for a line that
+// is too long.
 package bufconn
 
 import (
@@ -13,13 +17,13 @@
 	"time"
 )
 
-// Size is the longest line and the size of every buffer.
+// BufferSize is the length of the longest line and the size of every buffer, in bytes.
 const BufferSize = 4096
 
-// leftover is what Drain reads at full speed, and slowly its pause between two
-// buffers beyond.
 const (
+	// fastDiscardBytes is how much DiscardInput reads at full speed.
 	fastDiscardBytes = 16 * BufferSize
+	// slowDiscardPause is its pause between two buffers beyond that.
 	slowDiscardPause = 25 * time.Millisecond
 )
 
@@ -27,147 +31,155 @@
 	return bufio.NewReadWriter(bufio.NewReaderSize(nil, BufferSize), bufio.NewWriterSize(nil, BufferSize))
 }}
 
-// Past is a read deadline that wakes a reader at once.
+// PastDeadline is a read deadline that interrupts a read at once.
 var PastDeadline = time.Unix(1, 0)
 
-// Leg is one connection with its buffers. One goroutine at a time may read and
-// one may write; Close and SetReadDeadline may come from any.
+// Conn is a connection with its buffers. One goroutine at a time may read and one may
+// write; Close, InterruptRead and SetReadDeadline may be called by any.
 type Conn struct {
 	net.Conn
 	textproto.Reader
 	textproto.Writer
-	pooled *bufio.ReadWriter
+	pooled *bufio.ReadWriter // nil after Release
 }
 
-// New returns a Leg on conn that holds buffers until Release.
+// New returns a Conn on conn. It holds buffers until Release.
 func New(conn net.Conn) *Conn {
 	buffers := bufferPool.Get().(*bufio.ReadWriter)
 	buffers.Reader.Reset(conn)
 	buffers.Writer.Reset(conn)
-	return &Conn{Conn: conn, Reader: textproto.Reader{R: buffers.Reader}, Writer: textproto.Writer{W: buffers.Writer}, pooled: buffers}
+	return &Conn{
+		Conn:   conn,
+		Reader: textproto.Reader{R: buffers.Reader},
+		Writer: textproto.Writer{W: buffers.Writer},
+		pooled: buffers,
+	}
 }
 
-// Resume returns a Leg on conn from which another process had read some bytes that it
-// did not use.
-func NewWithUnread(conn net.Conn, read []byte) *Conn {
-	l := New(conn)
-	if len(read) > 0 {
-		l.pooled.Reader.Reset(io.MultiReader(bytes.NewReader(read), conn))
+// NewWithUnread returns a Conn on conn whose input starts with bytes that another process
+// had read from the connection and not used.
+func NewWithUnread(conn net.Conn, unread []byte) *Conn {
+	c := New(conn)
+	if len(unread) > 0 {
+		c.pooled.Reader.Reset(io.MultiReader(bytes.NewReader(unread), conn))
 	}
-	return l
+	return c
 }
 
-// Unread returns what was read from the connection and not used, valid until the next
+// Unread returns what was read from the connection and not used. It is valid until the next
 // read.
-func (l *Conn) Unread() []byte {
-	b, _ := l.R.Peek(l.R.Buffered())
-	return b
+func (c *Conn) Unread() []byte {
+	unread, _ := c.R.Peek(c.R.Buffered()) // can't fail: all of it is buffered
+	return unread
 }
 
-// ReadRaw returns the next line with its end, valid until the next read. A read
-// that fails takes nothing: a deadline may come in the middle of a line that is
-// still on its way. It stands in for textproto's ReadLine, which takes a line cut
-// off by the end of the connection for a whole one and reads an endless one until
-// memory is out: here the first is io.EOF, the second bufio.ErrBufferFull.
-func (l *Conn) ReadRawLine() ([]byte, error) {
+// ReadRawLine returns the next line with its line end, valid until the next read. A read
+// that fails consumes nothing, as a deadline may pass in the middle of a line that is still
+// on its way. It replaces textproto's ReadLine, which takes a line that is cut off by the
+// end of the connection for a complete one and reads an endless one until memory runs out:
+// here the first is io.EOF, the second bufio.ErrBufferFull.
+func (c *Conn) ReadRawLine() ([]byte, error) {
 	for {
-		line, complete := l.firstLine()
+		line, complete := c.firstLine()
 		switch {
 		case complete:
-			_, err := l.R.Discard(len(line))
+			_, err := c.R.Discard(len(line))
 			return line, err
 		case len(line) == BufferSize:
 			return nil, bufio.ErrBufferFull
 		}
-		if _, err := l.R.Peek(len(line) + 1); err != nil {
+		if _, err := c.R.Peek(len(line) + 1); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// buffered returns what is buffered, up to the end of the first line.
-func (l *Conn) firstLine() (line []byte, complete bool) {
-	b := l.Unread()
-	if i := bytes.IndexByte(b, '\n'); i >= 0 {
-		return b[:i+1], true
+// firstLine returns what is buffered, up to the end of the first line, and whether that end
+// is there.
+func (c *Conn) firstLine() (line []byte, complete bool) {
+	unread := c.Unread()
+	if i := bytes.IndexByte(unread, '\n'); i >= 0 {
+		return unread[:i+1], true
 	}
-	return b, false
+	return unread, false
 }
 
-// HasLine tells whether a whole line is buffered, so that reading it won't wait.
-func (l *Conn) HasLine() bool {
-	_, complete := l.firstLine()
+// HasLine reports whether a complete line is buffered, so that reading it does not block.
+func (c *Conn) HasLine() bool {
+	_, complete := c.firstLine()
 	return complete
 }
 
-// ReadText returns the next line without its end, read before the deadline.
-func (l *Conn) ReadTextLineBefore(deadline time.Time) ([]byte, error) {
-	if err := l.SetReadDeadline(deadline); err != nil {
+// ReadTextLineBefore returns the next line without its line end, read before the deadline.
+func (c *Conn) ReadTextLineBefore(deadline time.Time) ([]byte, error) {
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	return l.ReadTextLine()
+	return c.ReadTextLine()
 }
 
-// NextText returns the next line without its end, by the read deadline as it is.
-func (l *Conn) ReadTextLine() ([]byte, error) {
-	line, err := l.ReadRawLine()
+// ReadTextLine returns the next line without its line end, by the read deadline as it is.
+func (c *Conn) ReadTextLine() ([]byte, error) {
+	line, err := c.ReadRawLine()
 	return bytes.TrimRight(line, "\r\n"), err
 }
 
-// WriteText writes a line and its end before the deadline.
-func (l *Conn) WriteLine(line string, deadline time.Time) error {
-	if err := l.SetWriteDeadline(deadline); err != nil {
+// WriteLine writes a line and its line end before the deadline.
+func (c *Conn) WriteLine(line string, deadline time.Time) error {
+	if err := c.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
-	return l.PrintfLine("%s", line)
+	return c.PrintfLine("%s", line)
 }
 
 // Flush writes what is buffered before the deadline.
-func (l *Conn) Flush(deadline time.Time) error {
-	if err := l.SetWriteDeadline(deadline); err != nil {
+func (c *Conn) Flush(deadline time.Time) error {
+	if err := c.SetWriteDeadline(deadline); err != nil {
 		return err
 	}
-	return l.W.Flush()
+	return c.W.Flush()
 }
 
-// Wake ends a read that is waiting.
-func (l *Conn) InterruptRead() { _ = l.SetReadDeadline(PastDeadline) }
+// InterruptRead ends a read that is waiting, and all later ones until the read deadline is
+// set again, with os.ErrDeadlineExceeded.
+func (c *Conn) InterruptRead() { _ = c.SetReadDeadline(PastDeadline) }
 
-// Abort closes the connection with a reset, as its other side was.
-func (l *Conn) Abort() {
-	if tcp, ok := l.Conn.(*net.TCPConn); ok {
+// Abort closes a TCP connection with a reset.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = l.Close()
+	_ = c.Close()
 }
 
-// FinishWrites ends the sending half, so that what was written arrives although
-// unread lines of the other side would turn a plain close into a reset.
-func (l *Conn) CloseWrite() {
-	if closer, ok := l.Conn.(interface{ CloseWrite() error }); ok {
+// CloseWrite closes the sending half. What was written arrives then, although unread input
+// would turn a plain close into a reset.
+func (c *Conn) CloseWrite() {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = closer.CloseWrite()
 	}
 }
 
-// Farewell writes a last line before the deadline and ends the leg. Unread lines of
-// the other side, which may come for as long as it lingers, don't reset it before it
-// has read that. It tells whether the line was written.
-func (l *Conn) LingeringClose(line string, deadline time.Time, linger time.Duration) error {
-	err := l.WriteLine(line, deadline)
-	l.CloseWrite()
-	_ = l.SetReadDeadline(time.Now().Add(linger))
-	l.DiscardInput()
-	l.Release()
+// LingeringClose writes a last line before the deadline, closes the connection and releases
+// the buffers. For as long as linger it discards what the other side still sends, so that
+// unread input does not reset the connection before the last line was read. It returns the
+// error of the write.
+func (c *Conn) LingeringClose(line string, deadline time.Time, linger time.Duration) error {
+	err := c.WriteLine(line, deadline)
+	c.CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(linger))
+	c.DiscardInput()
+	c.Release()
 	return err
 }
 
-// Drain reads and drops until the other side ends or the read deadline has come,
-// so that unread lines don't turn the close into a reset, which might overtake the
-// last line written. Beyond leftover it reads slowly: who has 60 MB to send is
-// given the time to read that line, and costs no more than that.
-func (l *Conn) DiscardInput() {
+// DiscardInput reads and discards input until the other side ends or the read deadline has
+// passed. Unread input would turn the close into a reset, which might overtake the last
+// line that was written. Beyond fastDiscardBytes it reads slowly: a peer that has 60 MB to
+// send is given the time to read that line, and costs no more than that.
+func (c *Conn) DiscardInput() {
 	for discarded := 0; ; {
-		n, err := l.R.Discard(max(1, l.R.Buffered()))
+		n, err := c.R.Discard(max(1, c.R.Buffered()))
 		if err != nil {
 			return
 		}
@@ -177,15 +189,15 @@
 	}
 }
 
-// Release closes the connection and gives the buffers back. Nobody may read or
-// write any more.
-func (l *Conn) Release() {
-	_ = l.Close()
-	if l.pooled == nil {
+// Release closes the connection and returns the buffers to the pool. Nothing may read or
+// write any more. A second call does nothing.
+func (c *Conn) Release() {
+	_ = c.Close()
+	if c.pooled == nil {
 		return
 	}
-	l.pooled.Reader.Reset(nil)
-	l.pooled.Writer.Reset(nil)
-	bufferPool.Put(l.pooled)
-	l.pooled = nil
+	c.pooled.Reader.Reset(nil)
+	c.pooled.Writer.Reset(nil)
+	bufferPool.Put(c.pooled)
+	c.pooled = nil
 }
