downstream: one concern a file, drain pace apart, docs and logs in the field's terms

pendingclient.go and adopt.go are split off; runDrain's pace is a type of its own; newSession and cutOldestLingering are cut out of longer functions. Two log lines: 'accept' is 'accept failed', and both have component and error. Nothing else changed. Passed: go test of downstream.

--- a/internal/downstream/capacity.go
+++ b/internal/downstream/capacity.go
@@ -1,40 +1,28 @@
 package downstream
 
 import (
-	"container/list"
-	"net"
 	"time"
 
 	"coralrelay/internal/bufconn"
 	"coralrelay/internal/proxy"
 )
 
-// glance is how long the read-out of one that has its last answer takes at least, also
-// when others wait for its socket.
+// minLinger is how long a client lingers at least, also when others wait for its socket.
 const minLinger = 25 * time.Millisecond
 
-// visitor is a caller's connection that is no transaction: it rests until its first line
-// comes, or it parts, which is to have its last answer and to be read out.
-type pendingClient struct {
-	conn         net.Conn
-	deadline     time.Time     // for its first line
-	element      *list.Element // among those that rest, then among those that part
-	lingersSince time.Time     // when it was told to part; zero if it was not
-}
-
-// Partings is how many sockets those may use that are seen off, beside the given ones of
-// callers and their branches.
+// LingeringSockets returns how many sockets lingering clients may use beside the given
+// number of sockets of clients and upstreams.
 func LingeringSockets(sockets int) int { return max(4, sockets/16) }
 
-// Limit changes how many sockets callers and their branches may use.
+// SetSocketLimit changes how many sockets clients and their upstreams may use.
 func (s *Server) SetSocketLimit(sockets int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limits.Sockets = sockets
 }
 
-// used counts the sockets of callers and their branches, in both processes where there are
-// two, under the lock.
+// socketsUsed counts the sockets of clients and upstreams, without those of lingering
+// clients, in both processes where there are two. The lock is held.
 func (s *Server) socketsUsed() int {
 	used := len(s.clients) - s.lingeringCount + len(s.sessions)
 	if s.limits.UsedElsewhere != nil {
@@ -43,8 +31,9 @@
 	return used
 }
 
-// awaitRoom returns when there is room for one more caller, if need be one that is only
-// refused. Who has rested longest makes it; a usual caller sends its line at once.
+// awaitCapacity returns when there is capacity for one more client, even if it can only be
+// rejected. The client that has been idle for longest makes way for it; usual clients send
+// their first line at once.
 func (s *Server) awaitCapacity() {
 	for wait := s.makeCapacity(); wait > 0; wait = s.makeCapacity() {
 		select {
@@ -54,19 +43,30 @@
 	}
 }
 
-// full returns 0 if there is room for one more caller; else it has somebody make room, and
-// returns when to look again. Half of what is kept for partings is left to those that
-// admit sends away.
+// makeCapacity returns 0 if there is capacity for one more client. Else it evicts one, or
+// cuts the oldest lingering one short, and returns when to look again. Half of the lingering
+// sockets are left to clients that admit rejects.
 func (s *Server) makeCapacity() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	maxLingering := LingeringSockets(s.limits.Sockets) / 2
-	if s.lingeringCount < maxLingering && s.socketsUsed() >= s.limits.Sockets {
+	mayEvict := s.lingeringCount < maxLingering
+	if mayEvict && s.socketsUsed() >= s.limits.Sockets {
 		s.evictLongestIdle(nil)
 	}
-	if s.lingeringCount < maxLingering && s.socketsUsed() < s.limits.Sockets || len(s.clients)-len(s.sessions) < maxLingering {
+	// Again, as one more may linger now.
+	if s.lingeringCount < maxLingering && s.socketsUsed() < s.limits.Sockets {
+		return 0
+	}
+	if len(s.clients)-len(s.sessions) < maxLingering {
 		return 0
 	}
+	return s.cutOldestLingering()
+}
+
+// cutOldestLingering ends the client that has lingered for longest, once that is minLinger.
+// It returns when to look again. The lock is held.
+func (s *Server) cutOldestLingering() time.Duration {
 	oldest := s.lingering.Front()
 	if oldest == nil {
 		return minLinger
@@ -80,76 +80,28 @@
 	return minLinger
 }
 
-// hold keeps conn among the legs, as one that rests until the deadline at the latest.
-func (s *Server) addClient(conn net.Conn, deadline time.Time) *pendingClient {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	client := &pendingClient{conn: conn, deadline: deadline}
-	s.clients[conn] = struct{}{}
-	client.element = s.idle.PushBack(client)
-	_ = conn.SetReadDeadline(deadline) // moved only to end the wait
-	if s.rejectUnread {
-		s.evict(client)
-	}
-	return client
-}
-
-// admit tells whether t, which v has opened, may be served. While the node is emptied
-// nobody may, but for who is still sent here because the news is not out.
+// admit reports whether a session that client has opened may be served, and adds it then.
+// While the server drains, sessions are still admitted until rejectAt: clients are sent
+// here until everybody knows that it drains.
 func (s *Server) admit(session *proxy.Session, client *pendingClient) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !client.lingersSince.IsZero() || s.draining && !time.Now().Before(s.rejectAt) {
+	if client.lingers() || s.draining && !time.Now().Before(s.rejectAt) {
 		return false
 	}
-	if s.socketsUsed() >= s.limits.Sockets && (s.lingeringCount >= LingeringSockets(s.limits.Sockets) || !s.evictLongestIdle(client)) {
-		return false
+	if s.socketsUsed() >= s.limits.Sockets {
+		mayEvict := s.lingeringCount < LingeringSockets(s.limits.Sockets)
+		if !mayEvict || !s.evictLongestIdle(client) {
+			return false
+		}
 	}
 	s.idle.Remove(client.element)
 	s.sessions[session] = false
-	_ = client.conn.SetReadDeadline(time.Time{}) // it can't be told to part any more
+	_ = client.conn.SetReadDeadline(time.Time{}) // it can't be evicted any more
 	return true
 }
 
-// partOldest tells who has rested longest to part, but not but, and whether there is one;
-// under the lock.
-func (s *Server) evictLongestIdle(except *pendingClient) bool {
-	for element := s.idle.Front(); element != nil; element = element.Next() {
-		if client := element.Value.(*pendingClient); client != except {
-			s.evict(client)
-			return true
-		}
-	}
-	return false
-}
-
-// part tells a visitor to part: its read ends, and it is seen off. Under the lock; again it
-// changes nothing.
-func (s *Server) evict(client *pendingClient) {
-	if !client.lingersSince.IsZero() {
-		return
-	}
-	s.idle.Remove(client.element)
-	client.lingersSince = time.Now()
-	client.element = s.lingering.PushBack(client)
-	s.lingeringCount++
-	_ = client.conn.SetReadDeadline(bufconn.PastDeadline)
-}
-
-// letGo forgets a visitor, or the leg that it has become; its connection is closed.
-func (s *Server) removeClient(client *pendingClient) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.clients, client.conn)
-	s.idle.Remove(client.element)
-	if !client.lingersSince.IsZero() {
-		s.lingering.Remove(client.element)
-		s.lingeringCount--
-	}
-	s.signalSocketFreed()
-}
-
-// free wakes who waits for room.
+// signalSocketFreed wakes awaitCapacity.
 func (s *Server) signalSocketFreed() {
 	select {
 	case s.socketFreed <- struct{}{}:
--- a/internal/downstream/drain.go
+++ b/internal/downstream/drain.go
@@ -8,29 +8,31 @@
 )
 
 const (
-	// step is the pace of the moves while the node is emptied.
+	// drainInterval is how often a drain looks at the sessions.
 	drainInterval = 20 * time.Millisecond
-	// arrivals is how long callers keep coming after the node began to leave.
+	// arrivalWindow is how long clients keep arriving after a drain has begun.
 	arrivalWindow = 600 * time.Millisecond
-	// parted is what all take who are told to go at last: a step, a write and the read-out.
+	// finalAnswerTime is what clients take that are rejected at the end of a drain: an
+	// interval until it looks, a write and the lingering close.
 	finalAnswerTime = lingerTimeout + 2*drainInterval
 )
 
-// Plan says how the node is emptied. Every standing connection is moved, evenly
-// between two times, those that come up later at once.
+// DrainPlan says how the server is emptied. The established sessions are migrated evenly
+// between MoveStartAt and MoveEndAt, those that are established later at once.
 type DrainPlan struct {
-	RejectAt               time.Time // newcomers get the busy answer from then on
-	MoveStartAt, MoveEndAt time.Time
-	// End is when there is no more time to wait for who is left. A read-out before it, who
-	// still rests and what is not answered get their last answer, and who stands is moved.
+	RejectAt    time.Time // newcomers are rejected from then on
+	MoveStartAt time.Time
+	MoveEndAt   time.Time
+	// EndAt is when the drain waits no longer. One lingering close before it, idle clients
+	// and unanswered sessions get their last answer, and established ones are migrated.
 	EndAt time.Time
-	// Heir is a process that goes on with what stands, and with what comes up later, in
-	// place of all moves; nil if there is none.
+	// Successor takes over the sessions that are established, now or later, in place of all
+	// migrations; nil if there is none.
 	Successor proxy.Successor
 }
 
-// Leave has the node emptied for good: what comes on callers' connections from then on gets
-// the busy answer. Drain has to follow.
+// StartDraining begins to empty the server for good: what arrives on clients' connections
+// after rejectAt is rejected. Drain has to follow.
 func (s *Server) StartDraining(rejectAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,10 +40,12 @@
 		s.cancelLameDuck()
 		s.cancelLameDuck = nil
 	}
-	s.draining, s.rejectAt, s.accepting, s.shuttingDown = true, rejectAt, false, true
+	s.draining, s.rejectAt = true, rejectAt
+	s.accepting, s.shuttingDown = false, true
 }
 
-// Drain empties the node for good. It returns when all are gone, or at the plan's end.
+// Drain empties the server for good. It returns when no client is left and none arrives
+// any more, or at the end of the plan.
 func (s *Server) Drain(plan DrainPlan) {
 	s.StartDraining(plan.RejectAt)
 	s.mu.Lock()
@@ -50,8 +54,8 @@
 	s.runDrain(context.Background(), plan)
 }
 
-// LameDuck empties the node until Rejoin. It returns at once, and changes nothing if
-// the node is being emptied already.
+// LameDuck empties the server until Rejoin. It returns at once, and changes nothing if the
+// server is draining already.
 func (s *Server) LameDuck(plan DrainPlan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -63,7 +67,7 @@
 	s.wg.Go(func() { s.runDrain(ctx, plan) })
 }
 
-// Rejoin ends what LameDuck began: who has not been told to move stays.
+// Rejoin ends what LameDuck began: sessions that were not migrated before it returns stay.
 func (s *Server) Rejoin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,38 +77,37 @@
 	}
 }
 
-// empty moves what stands by the plan, until ctx ends. If that never does, it returns
-// once nobody is left and nobody comes any more; else who comes late is moved too.
+// runDrain migrates the sessions by the plan, until ctx ends or the plan does. With a ctx
+// that never ends, which is a shutdown, it returns once no client is left and none arrives
+// any more; else late sessions are migrated too.
 func (s *Server) runDrain(ctx context.Context, plan DrainPlan) {
-	startedAt, migrationsDue := time.Now(), 0.0 // moves that the pace allows by now
+	startedAt := time.Now()
 	rejectRemainingAt := plan.EndAt.Add(-finalAnswerTime)
-	moveEndAt, shuttingDown := earlier(plan.MoveEndAt, rejectRemainingAt), ctx.Done() == nil
+	isShutdown := ctx.Done() == nil
+	pace := migrationPace{startAt: plan.MoveStartAt, endAt: plan.MoveEndAt}
+	if rejectRemainingAt.Before(pace.endAt) {
+		pace.endAt = rejectRemainingAt
+	}
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for now := startedAt; now.Before(plan.EndAt); {
 		established, idle, others := s.surveyClients()
-		if noArrivals := len(established)+others == 0 && now.Sub(startedAt) > arrivalWindow; shuttingDown {
-			if noArrivals && idle == 0 {
+		if isShutdown {
+			onlyIdle := len(established)+others == 0 && now.Sub(startedAt) > arrivalWindow
+			if onlyIdle && idle == 0 {
 				return
 			}
-			if noArrivals && !now.Before(plan.RejectAt) || !now.Before(rejectRemainingAt) {
+			if onlyIdle && !now.Before(plan.RejectAt) || !now.Before(rejectRemainingAt) {
 				s.rejectRemaining()
 			}
 		}
-		count := len(established)
 		if plan.Successor != nil {
 			for _, session := range established {
 				session.HandOver(plan.Successor)
 			}
-			count = 0
-		} else if now.Before(plan.MoveStartAt) {
-			count = 0
-		} else if timeLeft := moveEndAt.Sub(now); timeLeft > drainInterval {
-			migrationsDue += float64(count) * drainInterval.Seconds() / timeLeft.Seconds()
-			count = min(count, int(migrationsDue))
-			migrationsDue -= float64(count)
+		} else {
+			s.migrate(ctx, established[:pace.next(now, len(established))])
 		}
-		s.migrate(ctx, established[:count])
 		select {
 		case <-ctx.Done():
 			return
@@ -113,15 +116,30 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+// migrationPace spreads migrations evenly over a time.
+type migrationPace struct {
+	startAt, endAt time.Time
+	due            float64 // migrations that the pace allows by now and that were not made
+}
+
+// next returns how many of the established sessions are to be migrated at the time now. It
+// is called once each drainInterval.
+func (p *migrationPace) next(now time.Time, established int) int {
+	if now.Before(p.startAt) {
+		return 0
+	}
+	timeLeft := p.endAt.Sub(now)
+	if timeLeft <= drainInterval {
+		return established
 	}
-	return a
+	p.due += float64(established) * drainInterval.Seconds() / timeLeft.Seconds()
+	count := min(established, int(p.due))
+	p.due -= float64(count)
+	return count
 }
 
-// move asks connections to go, unless the emptying has ended: under the lock, so that
-// none goes after Rejoin has returned.
+// migrate migrates sessions, unless the drain was cancelled: under the lock, so that none is
+// migrated after Rejoin has returned.
 func (s *Server) migrate(ctx context.Context, sessions []*proxy.Session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,29 +151,28 @@
 	}
 }
 
-// lastCall has all who rest seen off, as are those who come from now on, and gives up what
-// is not answered yet.
+// rejectRemaining evicts all idle clients, as are those that arrive from now on, and gives
+// up the sessions that are not answered yet.
 func (s *Server) rejectRemaining() {
-	var unanswered []*proxy.Session
+	var submitted []*proxy.Session
 	s.mu.Lock()
 	s.rejectUnread = true
 	for element := s.idle.Front(); element != nil; element = s.idle.Front() {
 		s.evict(element.Value.(*pendingClient))
 	}
-	for session, submitted := range s.sessions {
-		if submitted { // else submitted sees to it
-			unanswered = append(unanswered, session)
+	for session, isSubmitted := range s.sessions {
+		if isSubmitted { // else markSubmitted gives it up
+			submitted = append(submitted, session)
 		}
 	}
 	s.mu.Unlock()
-	for _, session := range unanswered {
+	for _, session := range submitted {
 		session.GiveUp()
 	}
 }
 
-// standing lists the connections that stand and were not told to move, and counts the
-// callers that have not opened anything and all other legs: also those that have their last
-// answer and are read out.
+// surveyClients lists the established sessions that are not migrated, and counts the idle
+// clients and all others, lingering ones included.
 func (s *Server) surveyClients() (established []*proxy.Session, idle, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -11,26 +11,26 @@
 )
 
 const (
-	// firstLine is how long a caller may take from its connect to the end of its
+	// firstLineTimeout is how long a client may take from its connect to the end of its
 	// first line, whatever it sends meanwhile: it is owed an answer within 3 s.
 	firstLineTimeout = 2 * time.Second
-	// pings is how many PINGs are answered on one connection: a front asks once
-	// or twice, and an answer costs more than a question.
+	// maxPings is how many PINGs are answered on one connection: a load balancer in front
+	// sends one or two, and an answer costs more than a question.
 	maxPings = 16
-	// margin is kept back from a caller's deadline: its clock started when it
-	// sent the line, and the answer still has to reach it.
+	// deadlineMargin is kept back from a client's deadline: its clock started when it sent
+	// the line, and the answer still has to reach it.
 	deadlineMargin = 25 * time.Millisecond
-	// longestWait bounds what a caller may ask for: a connection that its next hop
-	// still holds is lost after 40 s, and usual ones are given up far sooner.
+	// maxRequestTimeout bounds the timeout that a client may ask for: a session that its
+	// upstream still holds is lost after 40 s, and usual ones are given up far sooner.
 	maxRequestTimeout = 40 * time.Second
-	// writing is how long a short answer may block.
+	// answerWriteTimeout is how long writing a last answer may block.
 	answerWriteTimeout = time.Second
-	// linger is how long a caller may take to end after its last answer.
+	// lingerTimeout is how long a client may take to close after its last answer.
 	lingerTimeout = 250 * time.Millisecond
 )
 
-// serve reads lines until one opens a connection, or until the visitor's deadline. A
-// transaction closes its leg itself.
+// serveClient reads lines until one opens a session, or until the client's deadline. It
+// returns when the connection is closed.
 func (s *Server) serveClient(client *pendingClient) {
 	defer s.removeClient(client)
 	conn := bufconn.New(client.conn)
@@ -46,7 +46,7 @@
 				answer = s.busyLine()
 			}
 			if err := conn.WriteLine(answer, client.deadline); err != nil {
-				s.lingeringClose(client, conn, s.busyLine())
+				_ = s.lingeringClose(client, conn, s.busyLine())
 				return
 			}
 			continue
@@ -61,25 +61,27 @@
 	}
 }
 
-// unopened ends a leg on which no first line came.
+// endWithoutRequest ends a connection on which no first line came, as reading it has failed
+// with err.
 func (s *Server) endWithoutRequest(client *pendingClient, conn *bufconn.Conn, err error) {
-	silent, timedOut := conn.R.Buffered() == 0, errors.Is(err, os.ErrDeadlineExceeded)
+	silent := conn.R.Buffered() == 0
+	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+	// A read that timed out before the client's deadline was interrupted by evict, which is
+	// not the client's fault.
+	evicted := timedOut && time.Now().Before(client.deadline)
 	switch {
-	case timedOut && (silent || time.Now().Before(client.deadline)): // or it has to go now, which is not its fault
-		s.lingeringClose(client, conn, s.busyLine())
-	case silent: // it has gone
+	case timedOut && silent, evicted:
+		_ = s.lingeringClose(client, conn, s.busyLine())
+	case silent: // the client has left
 		conn.Release()
 	default:
 		s.rejectFirstLine(client, conn, err)
 	}
 }
 
-// open runs a transaction to its end.
+// runSession serves a request to its end.
 func (s *Server) runSession(client *pendingClient, conn *bufconn.Conn, request lineproto.ConnectRequest) {
-	session := proxy.New(proxy.Request{ID: request.ID, Class: request.Class, Key: request.Key, Group: request.Group, Tenant: request.Tenant, CurrentServer: request.Endpoint,
-		Hint: request.Hint, Retry: request.Retry, Returned: request.Returned, Deadline: time.Now().Add(min(request.Patience, maxRequestTimeout) - deadlineMargin)},
-		&request, lineproto.Codec{}, s.dispatcher, conn)
-	session.Metrics = s.Metrics.Class(request.Class)
+	session := s.newSession(conn, &request)
 	if !s.admit(session, client) {
 		if s.lingeringClose(client, conn, s.busyLine()) == nil {
 			session.Metrics.Rejected()
@@ -97,7 +99,27 @@
 	s.mu.Unlock()
 }
 
-// submitted notes that the decider has t, which may be given up from now on.
+// newSession returns the session of a request that was read from conn.
+func (s *Server) newSession(conn *bufconn.Conn, request *lineproto.ConnectRequest) *proxy.Session {
+	timeout := min(request.Patience, maxRequestTimeout) - deadlineMargin
+	placement := proxy.Request{
+		ID:            request.ID,
+		Class:         request.Class,
+		Key:           request.Key,
+		Group:         request.Group,
+		Tenant:        request.Tenant,
+		CurrentServer: request.Endpoint,
+		Hint:          request.Hint,
+		Retry:         request.Retry,
+		Returned:      request.Returned,
+		Deadline:      time.Now().Add(timeout),
+	}
+	session := proxy.New(placement, request, lineproto.Codec{}, s.dispatcher, conn)
+	session.Metrics = s.Metrics.Class(request.Class)
+	return session
+}
+
+// markSubmitted notes that the dispatcher has the session, which may be given up from now on.
 func (s *Server) markSubmitted(session *proxy.Session) {
 	s.mu.Lock()
 	s.sessions[session] = true
@@ -108,14 +130,16 @@
 	}
 }
 
-// reject answers a first line that is none, and ends the leg.
+// rejectFirstLine answers a first line that can't be parsed, and ends the connection.
 func (s *Server) rejectFirstLine(client *pendingClient, conn *bufconn.Conn, err error) {
-	s.rejectedLineLog.Warn("first line rejected", "from", conn.RemoteAddr().String(), "err", err)
+	s.rejectedLineLog.Warn("first line rejected",
+		"component", component, "client", conn.RemoteAddr().String(), "error", err)
 	_ = s.lingeringClose(client, conn, lineproto.Error)
 }
 
-// seeOff gives a last answer and ends the leg in good order: a request may come in the
-// very moment, and a close over it would be a reset, which takes the answer with it.
+// lingeringClose gives a last answer and closes the connection without a reset: a request
+// may arrive at that very moment, and the reset of a plain close would overtake the answer.
+// It returns the error of the write.
 func (s *Server) lingeringClose(client *pendingClient, conn *bufconn.Conn, answer string) error {
 	s.mu.Lock()
 	s.evict(client)
@@ -123,5 +147,7 @@
 	return conn.LingeringClose(answer, time.Now().Add(answerWriteTimeout), lingerTimeout)
 }
 
-// busy words the busy answer to who is refused unseen.
-func (s *Server) busyLine() string { return lineproto.Codec{}.Busy(time.Duration(s.retryAfter.Load())) }
+// busyLine is the answer to a client that is rejected before its request was read.
+func (s *Server) busyLine() string {
+	return lineproto.Codec{}.Busy(time.Duration(s.retryAfter.Load()))
+}
--- a/internal/downstream/listen.go
+++ b/internal/downstream/listen.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// Serve accepts callers until the listener is closed. While there is no room for one more
-// it does not accept: those who come wait in the kernel's backlog.
+// acceptRetryInterval is the pause after an accept that has failed.
+const acceptRetryInterval = 5 * time.Millisecond
+
+// Serve accepts clients until the listener is closed; then it returns nil. While there is
+// no capacity for one more it does not accept: newcomers wait in the kernel's backlog.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
 	s.accepting = true
@@ -17,20 +20,21 @@
 		conn, err := listener.Accept()
 		switch {
 		case err == nil:
-			client := s.addClient(conn, time.Now().Add(firstLineTimeout)) // here, so that it counts when room is looked for
+			// Added here, so that awaitCapacity counts it.
+			client := s.addClient(conn, time.Now().Add(firstLineTimeout))
 			s.wg.Go(func() { s.serveClient(client) })
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		default: // out of descriptors all the same: others must end first
-			s.acceptErrorLog.Warn("accept", "err", err)
-			time.Sleep(5 * time.Millisecond)
+		default: // out of descriptors all the same: other connections must end first
+			s.acceptErrorLog.Warn("accept failed", "component", component, "error", err)
+			time.Sleep(acceptRetryInterval)
 		}
 	}
 }
 
-// Close ends every leg that is left and waits for the goroutines that served them. The
-// listener must be closed before. After Drain, those that are seen off, as who was accepted
-// last, have until the plan's end for it.
+// Close closes every connection that is left and waits for the goroutines that served
+// them. The listener must be closed before. After Drain, clients that still linger, such as
+// those that were accepted last, have until the end of the plan.
 func (s *Server) Close() {
 	s.mu.Lock()
 	shuttingDown, endAt := s.shuttingDown, s.drainEndAt
@@ -43,7 +47,7 @@
 	s.wg.Wait()
 }
 
-// cut closes all legs.
+// closeAll closes all connections.
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -1,5 +1,3 @@
-// Package caller is the clients' side: it listens, answers PING, reads first
-// lines and gives each caller leg to its transaction.
 package downstream
 
 import (
@@ -16,123 +14,106 @@
 	"coralrelay/internal/proxy"
 )
 
-// Decider takes transactions; each is then owed one final answer. *decide.Core does.
+// component is the attribute of the package's log lines.
+const component = "downstream"
+
+// Dispatcher takes sessions; the dispatch package's event loop is one.
 type Dispatcher interface {
 	proxy.Observer
-	Submit(item dispatch.Placement, b dispatch.AttemptStarter)
-	Adopt(item dispatch.Placement, server string) bool // of one that stands there already
+	// Submit takes a session, which is then owed one final answer. Its attempts are made by
+	// attempts.
+	Submit(item dispatch.Placement, attempts dispatch.AttemptStarter)
+	// Adopt takes a session that is established at server already. It returns false if the
+	// session's id is in use.
+	Adopt(item dispatch.Placement, server string) bool
 }
 
-// Continuities gives a caller that asks for it what lets it go on where it was
-// when it is moved; nil if nothing does.
+// ResumptionProvider makes the resumptions of clients that ask for one.
 type ResumptionProvider interface {
-	Resumption(o *lineproto.ConnectRequest) proxy.Resumption
+	// Resumption returns what lets the client of a request resume after a migration; nil if
+	// nothing does.
+	Resumption(request *lineproto.ConnectRequest) proxy.Resumption
 }
 
-// Limits bound what callers may use.
+// Limits bound what clients may use.
 type Limits struct {
-	// Sockets may be in use: one for a caller, one more for its branch. Those that are
-	// seen off may use Partings(Sockets) beside them.
-	Sockets    int
-	RetryAfter time.Duration // asked of callers who are refused unseen; 0 if none may be
-	// Elsewhere is how many of them a process beside this one uses; nil where there can
-	// be none. It returns at once.
+	// Sockets is how many sockets may be in use: one for a client, one more for its
+	// upstream. Lingering clients may use LingeringSockets(Sockets) beside them.
+	Sockets int
+	// RetryAfter is what clients are asked to wait that are rejected before their request
+	// was read; with 0 they are asked nothing.
+	RetryAfter time.Duration
+	// UsedElsewhere returns how many of the sockets another process uses; nil where there
+	// can be none. It returns at once.
 	UsedElsewhere func() int
 }
 
-// Server serves callers.
+// Server serves clients.
 type Server struct {
-	Resumptions ResumptionProvider // nil where it is not switched on; set before Serve
-	Metrics     *metrics.Registry  // nil if nobody asks; set before Serve
+	Resumptions ResumptionProvider // nil where resumption is off; set before Serve
+	Metrics     *metrics.Registry  // nil if nothing counts; set before Serve
 
 	dispatcher      Dispatcher
-	attempts        dispatch.AttemptStarter // to next hops of the line protocol
+	attempts        dispatch.AttemptStarter // to upstreams of the line protocol
 	limits          Limits
-	retryAfter      atomic.Int64 // limits.Pause, which may change
+	retryAfter      atomic.Int64 // Limits.RetryAfter in nanoseconds, which may change
 	rejectedLineLog logging.Throttled
 	acceptErrorLog  logging.Throttled
-	socketFreed     chan struct{} // a leg has ended: there may be room for another
+	socketFreed     chan struct{} // buffers one signal: a client has ended, there may be capacity
 
-	mu             sync.Mutex
+	mu             sync.Mutex              // guards what follows, and limits.Sockets
 	accepting      bool                    // Serve runs
-	draining       bool                    // the node is being emptied
-	shuttingDown   bool                    // for good: nothing is taken any more
-	rejectUnread   bool                    // and newcomers are seen off unread
-	rejectAt       time.Time               // while it is emptied: newcomers get the busy answer from then on
-	drainEndAt     time.Time               // of the plan by which it is emptied for good
-	cancelLameDuck func()                  // ends the emptying that can be ended; nil without one
-	sessions       map[*proxy.Session]bool // whether the decider has it
-	clients        map[net.Conn]struct{}
-	idle           list.List // of *visitor: have not opened anything, the oldest first
-	lingering      list.List // of *visitor: have their last answer and are read out, the oldest first
-	lingeringCount int       // these, and those whose read-out was cut short
+	draining       bool                    // by LameDuck or for good
+	shuttingDown   bool                    // draining for good: nothing is accepted or adopted any more
+	rejectUnread   bool                    // newcomers are rejected before their first line is read
+	rejectAt       time.Time               // while draining: newcomers are rejected from then on
+	drainEndAt     time.Time               // end of the plan by which the server drains for good
+	cancelLameDuck func()                  // ends the drain that LameDuck began; nil without one
+	sessions       map[*proxy.Session]bool // whether the dispatcher has it
+	clients        map[net.Conn]struct{}   // all connections, whatever their state
+	idle           list.List               // of *pendingClient without a first line, the oldest first
+	lingering      list.List               // of *pendingClient whose input is discarded, the oldest first
+	lingeringCount int                     // these, and those that were cut short
 	wg             sync.WaitGroup
 }
 
-// New returns a Server that keeps to the limits.
+// New returns a Server that keeps to the limits. Attempts for its sessions are made by
+// attempts.
 func New(dispatcher Dispatcher, attempts dispatch.AttemptStarter, limits Limits) *Server {
-	s := &Server{dispatcher: dispatcher, attempts: attempts, limits: limits, sessions: map[*proxy.Session]bool{},
-		clients: map[net.Conn]struct{}{}, socketFreed: make(chan struct{}, 1)}
+	s := &Server{
+		dispatcher:  dispatcher,
+		attempts:    attempts,
+		limits:      limits,
+		sessions:    map[*proxy.Session]bool{},
+		clients:     map[net.Conn]struct{}{},
+		socketFreed: make(chan struct{}, 1),
+	}
 	s.SetRetryAfter(limits.RetryAfter)
 	return s
 }
 
-// SetPause changes what callers who are refused unseen are asked to wait.
+// SetRetryAfter changes what clients are asked to wait that are rejected before their
+// request was read.
 func (s *Server) SetRetryAfter(retryAfter time.Duration) { s.retryAfter.Store(int64(retryAfter)) }
 
-// Sockets is how many are in use, or may be.
+// SocketsInUse returns how many sockets are in use, or may be: one for each client, one
+// more for the upstream of each session.
 func (s *Server) SocketsInUse() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.clients) + len(s.sessions)
 }
 
-// Open counts the connections that were taken and have not ended.
+// OpenSessions returns how many sessions were admitted or adopted and have not ended.
 func (s *Server) OpenSessions() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.sessions)
 }
 
-// TakesClients tells whether newcomers are welcome.
+// AcceptsClients reports whether the server is listening and not draining.
 func (s *Server) AcceptsClients() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.accepting && !s.draining
 }
-
-// Adopt goes on with what another process has handed over. If it is false the
-// connections stay the giver's.
-func (s *Server) Adopt(state proxy.EstablishedSession, client, upstream net.Conn) bool {
-	session := proxy.Inherit(state, lineproto.Codec{}, s.dispatcher, client, upstream)
-	session.Metrics = s.Metrics.Class(state.Class)
-	s.mu.Lock()
-	shuttingDown := s.shuttingDown
-	if !shuttingDown {
-		s.clients[client] = struct{}{}
-		s.sessions[session] = true
-		s.wg.Add(1)
-	}
-	s.mu.Unlock()
-	if shuttingDown {
-		return false
-	}
-	if !s.dispatcher.Adopt(session, state.Server) {
-		s.mu.Lock()
-		delete(s.clients, client)
-		delete(s.sessions, session)
-		s.mu.Unlock()
-		s.wg.Done()
-		return false
-	}
-	go func() {
-		defer s.wg.Done()
-		session.Run()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.clients, client)
-		delete(s.sessions, session)
-		s.signalSocketFreed()
-	}()
-	return true
-}
