--- a/internal/proxy/backpressure_test.go
+++ b/internal/proxy/backpressure_test.go
@@ -1,6 +1,6 @@
 package proxy_test
 
-// A side that does not read, or takes nothing.
+// A side that does not read, or accepts nothing.
 
 import (
 	"fmt"
@@ -12,8 +12,8 @@
 	"coralrelay/internal/bufconn"
 )
 
-// Lines pass byte for byte, and a reader that is slow holds up its next hop
-// rather than memory: what was not read is not taken from the next hop either.
+// Lines are relayed byte for byte, and a slow reader holds up its upstream rather than
+// memory: what was not read is not taken from the upstream either.
 func TestSlowClientThrottlesUpstream(t *testing.T) {
 	b := startSession(t)
 	b.establish(t)
@@ -24,14 +24,16 @@
 	copy(line[len(line)-2:], "\r\n")
 	const most = 64 << 20 / bufconn.BufferSize // far more than the sockets' buffers hold
 	written := 0
-	b.upstream.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	if err := b.upstream.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
 	for ; written < most; written++ {
 		if _, err := b.upstream.Write(line); err != nil {
 			break
 		}
 	}
 	if written == most {
-		t.Fatalf("the node took all of %d lines from the next hop", most)
+		t.Fatalf("all of %d lines were taken from the upstream", most)
 	}
 	for i := range written {
 		got, err := b.clientReader.ReadString('\n')
@@ -41,8 +43,8 @@
 	}
 }
 
-// A next hop that takes no lines any more but goes on sending was kept: what its caller
-// wrote was read and dropped, and nobody was told. It is left like one that is silent.
+// An upstream that accepts no lines any more but goes on sending was once kept: what its
+// client wrote was read and discarded, and nobody noticed. It is left like a silent one.
 func TestUpstreamThatAcceptsNothingMigratesClient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := startSessionOn(t, net.Pipe)
@@ -67,7 +69,7 @@
 			last = text
 		}
 		if took := time.Since(begun); last != "MOVE\r\n" || took > 7*time.Second {
-			t.Errorf("after %v the caller's last line is %q, want MOVE", took, last)
+			t.Errorf("after %v the client's last line is %q, want MOVE", took, last)
 		}
 		b.client.Close()
 		b.upstream.Close()
--- /dev/null
+++ b/internal/proxy/fixture_test.go
@@ -0,0 +1,170 @@
+package proxy_test
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/lineproto"
+	"coralrelay/internal/proxy"
+)
+
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
+
+// connPair returns both ends of a connection on real sockets.
+func connPair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if far, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	if err := far.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return near, far
+}
+
+// reset closes a connection with a TCP reset.
+func reset(t *testing.T, conn net.Conn) {
+	t.Helper()
+	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Error(err)
+	}
+	conn.Close()
+}
+
+type fakeEncoder struct{}
+
+func (fakeEncoder) ForwardLine(_, _ time.Time) string { return "OPEN" }
+
+// fakeObserver passes on what it is notified of.
+type fakeObserver struct {
+	gone  chan struct{}
+	ended chan balance.Outcome
+}
+
+func newFakeObserver() *fakeObserver {
+	return &fakeObserver{gone: make(chan struct{}), ended: make(chan balance.Outcome, 1)}
+}
+
+func (w *fakeObserver) ClientGone(dispatch.Placement)                          { close(w.gone) }
+func (w *fakeObserver) PlacementEnded(_ dispatch.Placement, o balance.Outcome) { w.ended <- o }
+
+func (w *fakeObserver) expectOutcome(t *testing.T, want balance.Outcome) {
+	t.Helper()
+	if got := receive(t, w.ended); got != want {
+		t.Errorf("ended as %v, want %v", got, want)
+	}
+}
+
+// fixture is a session between a client and an upstream.
+type fixture struct {
+	*fakeObserver
+	session          *proxy.Session
+	upstreamConn     *bufconn.Conn // the session's end
+	client, upstream net.Conn      // the far ends
+	clientReader     *bufio.Reader
+	upstreamReader   *bufio.Reader
+	finished         chan struct{} // closed when Run has returned
+}
+
+// startSession runs a session on real sockets.
+func startSession(t *testing.T) *fixture {
+	t.Helper()
+	return startSessionOn(t, func() (near, far net.Conn) { return connPair(t) })
+}
+
+// startSessionOn runs a session on the connections that pair makes.
+func startSessionOn(t *testing.T, pair func() (near, far net.Conn)) *fixture {
+	t.Helper()
+	clientNear, client := pair()
+	upstreamNear, upstream := pair()
+	b := newFixture(clientNear, client, upstreamNear, upstream)
+	b.run()
+	return b
+}
+
+// newFixture returns a fixture whose session does not run yet.
+func newFixture(clientNear, client, upstreamNear, upstream net.Conn) *fixture {
+	observer := newFakeObserver()
+	request := proxy.Request{ID: "a"}
+	return &fixture{
+		fakeObserver:   observer,
+		session:        proxy.New(request, fakeEncoder{}, lineproto.Codec{}, observer, bufconn.New(clientNear)),
+		upstreamConn:   bufconn.New(upstreamNear),
+		client:         client,
+		upstream:       upstream,
+		clientReader:   bufio.NewReader(client),
+		upstreamReader: bufio.NewReader(upstream),
+		finished:       make(chan struct{}),
+	}
+}
+
+func (b *fixture) run() {
+	go func() {
+		defer close(b.finished)
+		b.session.Run()
+	}()
+}
+
+// establish establishes the session and reads its UP.
+func (b *fixture) establish(t *testing.T) {
+	t.Helper()
+	if !b.session.Establish("UP r1", "s1", b.upstreamConn) {
+		t.Fatal("UP was not taken")
+	}
+	b.expectLine(t, b.clientReader, "UP r1\r\n")
+}
+
+// expectSettled fails the test if the session takes one more answer.
+func (b *fixture) expectSettled(t *testing.T) {
+	t.Helper()
+	receive(t, b.session.Context().Done())
+	if b.session.Establish("UP r1", "s1", b.upstreamConn) {
+		t.Error("UP was taken by a session that was settled")
+	}
+}
+
+// expectLine reads one line; the empty one is the end.
+func (b *fixture) expectLine(t *testing.T, from *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := from.ReadString('\n'); got != want {
+		t.Fatalf("read %q, %v; want %q", got, err, want)
+	}
+}
+
+// closeClient closes the client's end and waits for the session to end.
+func (b *fixture) closeClient(t *testing.T) {
+	t.Helper()
+	b.client.Close()
+	receive(t, b.finished)
+}
+
+func write(t *testing.T, to net.Conn, text string) {
+	t.Helper()
+	if _, err := to.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func receive[T any](t *testing.T, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(testTimeout):
+		t.Fatal("nothing was received")
+	}
+	return v
+}
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -15,7 +15,7 @@
 	Server       string    `json:"Server"`
 	FromClient   []byte    `json:"FromCaller"` // read from the client and not yet relayed
 	FromUpstream []byte    `json:"FromHop"`    // read from the upstream and not yet relayed
-	PendingSince time.Time `json:"Pending"`    // when the oldest unanswered client line was relayed; zero if none is pending
+	PendingSince time.Time `json:"Pending"`    // when the oldest unanswered client line was relayed; zero if none
 	// Gate is set by the receiver while the sender may still keep the connections.
 	Gate *CommitGate `json:"-"`
 }
--- a/internal/proxy/handover_start_test.go
+++ b/internal/proxy/handover_start_test.go
@@ -1,6 +1,6 @@
 package proxy_test
 
-// What comes between the yield and the offer.
+// What happens between the start of a handover and the offer.
 
 import (
 	"errors"
@@ -11,27 +11,30 @@
 	"testing"
 )
 
-// held is a connection on which a write waits until the test lets it go on, or it is closed.
+// blockedConn is a connection on which a write waits until the test releases it, or it is closed.
 type blockedConn struct {
 	*net.TCPConn
 	writing, release chan struct{}
 	once             sync.Once
 }
 
-func (h *blockedConn) Write(p []byte) (int, error) {
-	h.writing <- struct{}{}
-	<-h.release
-	return h.TCPConn.Write(p)
+func (c *blockedConn) Write(p []byte) (int, error) {
+	c.writing <- struct{}{}
+	<-c.release
+	return c.TCPConn.Write(p)
 }
 
-func (h *blockedConn) Close() error {
-	err := h.TCPConn.Close()
-	h.once.Do(func() { close(h.release) })
+func (c *blockedConn) Close() error {
+	err := c.TCPConn.Close()
+	c.unblock()
 	return err
 }
 
-// holds brings up a connection whose caller's line is on its way to a next hop that does
-// not take it, and then has it yielded.
+// unblock releases all writes, also those that are still to come.
+func (c *blockedConn) unblock() { c.once.Do(func() { close(c.release) }) }
+
+// startBlockedHandover establishes a session whose client's line is on its way to an upstream
+// that does not accept it, and then hands it over.
 func startBlockedHandover(t *testing.T) (b *fixture, successor *fakeSuccessor, upstreamConn *blockedConn) {
 	t.Helper()
 	upstreamConn = &blockedConn{writing: make(chan struct{}, 9), release: make(chan struct{})}
@@ -52,8 +55,8 @@
 	return b, successor, upstreamConn
 }
 
-// reset tells whether the other side has reset a connection, also behind its end, where
-// no read shows it.
+// socketError returns an error if the other side has reset a connection, also behind its
+// end, where no read shows it.
 func socketError(t *testing.T, c net.Conn) (err error) {
 	t.Helper()
 	raw, err := c.(*net.TCPConn).SyscallConn()
@@ -68,34 +71,46 @@
 	return errors.Join(inner, err)
 }
 
-// Until both sides have stopped this process owns what stands: the next hop's lines go on,
-// and its last one reaches the caller whatever that still sends. A move wins.
+// Until both relays have stopped this process owns the session: the upstream's lines are
+// relayed, and its last one reaches the client whatever that still sends. A migration wins.
 func TestOwnsSessionUntilBothRelaysStop(t *testing.T) {
 	t.Run("a line", func(t *testing.T) {
 		b, successor, upstreamConn := startBlockedHandover(t)
 		write(t, b.upstream, "LOAD 7\r\n")
 		b.expectLine(t, b.clientReader, "LOAD 7\r\n")
-		upstreamConn.once.Do(func() { close(upstreamConn.release) })
+		upstreamConn.unblock()
 		b.expectLine(t, b.upstreamReader, "one\r\n")
 		receive(t, successor.offered)
 		successor.accepts <- false
 		b.expectLine(t, b.clientReader, "MOVE\r\n")
 	})
-	for name, do := range map[string]func(b *fixture) (last string){
-		"MOVE":              func(b *fixture) string { write(t, b.upstream, "MOVE\r\n"); b.upstream.Close(); return "MOVE\r\n" },
-		"BYE":               func(b *fixture) string { write(t, b.upstream, "BYE\r\n"); b.upstream.Close(); return "BYE\r\n" },
-		"the module's move": func(b *fixture) string { b.session.Migrate(); return "MOVE\r\n" },
-	} {
+	upstreamSays := func(line string) func(t *testing.T, b *fixture) string {
+		return func(t *testing.T, b *fixture) string {
+			write(t, b.upstream, line)
+			b.upstream.Close()
+			return line
+		}
+	}
+	migrate := func(_ *testing.T, b *fixture) string {
+		b.session.Migrate()
+		return "MOVE\r\n"
+	}
+	tests := map[string]func(t *testing.T, b *fixture) (lastLine string){
+		"MOVE":        upstreamSays("MOVE\r\n"),
+		"BYE":         upstreamSays("BYE\r\n"),
+		"a migration": migrate,
+	}
+	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
 			b, successor, _ := startBlockedHandover(t)
 			write(t, b.client, "two\r\n") // unread here: a plain close would reset
-			last := do(b)
+			lastLine := end(t, b)
 			receive(t, b.finished)
 			if err := socketError(t, b.client); err != nil {
 				t.Errorf("its last line was followed by a reset: %v", err)
 			}
-			if got, err := io.ReadAll(b.clientReader); err != nil || string(got) != last {
-				t.Errorf("the caller read %q, %v; want %q", got, err, last)
+			if got, err := io.ReadAll(b.clientReader); err != nil || string(got) != lastLine {
+				t.Errorf("the client read %q, %v; want %q", got, err, lastLine)
 			}
 			select {
 			case <-successor.offered:
--- a/internal/proxy/ordering_test.go
+++ b/internal/proxy/ordering_test.go
@@ -1,6 +1,6 @@
 package proxy_test
 
-// What comes between two steps of a transaction that stands or is about to.
+// What happens between two steps of a session that is established or about to be.
 
 import (
 	"fmt"
@@ -13,25 +13,22 @@
 	"coralrelay/internal/bufconn"
 )
 
-// A next hop that says more than a line may have, or never ends its line, was broken off
-// by a reset without MOVE, although it still answered.
+// An upstream that sends more than a line may have, or never ends its line, was once broken
+// off by a reset without MOVE, although it still answered.
 func TestOversizedUpstreamLineMigratesClient(t *testing.T) {
 	b := startSession(t)
 	b.establish(t)
 	write(t, b.upstream, "whole\r\n"+strings.Repeat("x", bufconn.BufferSize+1))
 	b.expectLine(t, b.clientReader, "whole\r\n")
 	b.expectLine(t, b.clientReader, "MOVE\r\n")
-	if outcome := receive(t, b.ended); outcome != balance.Reset {
-		t.Errorf("ended as %v, want Reset", outcome)
-	}
-	b.client.Close()
-	receive(t, b.finished)
+	b.expectOutcome(t, balance.Reset)
+	b.closeClient(t)
 }
 
-// What a next hop has on its way when its caller is moved, half a line, does not reset it:
-// the caller's last line is read and its end seen, and there is one MOVE.
+// What an upstream has on its way when its client is migrated, half a line, does not reset
+// it: the client's last line is read and its end seen, and there is one MOVE.
 func TestPartialUpstreamLineDuringMigration(t *testing.T) {
-	for name, upstreamLine := range map[string]string{"we move": "", "both say it": "MOVE\r\n"} {
+	for name, upstreamLine := range map[string]string{"migrated here": "", "migrated by both": "MOVE\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			b := startSession(t)
 			b.establish(t)
@@ -45,7 +42,7 @@
 			if upstreamLine == "" {
 				b.expectLine(t, b.clientReader, "MOVE\r\n")
 			}
-			for i := range 3 { // the first would tell that nobody reads any more, the next would fail
+			for i := range 3 { // if nobody read any more, the first would show it and the next would fail
 				if _, err := fmt.Fprintf(b.upstream, "half a line %d", i); err != nil && upstreamLine == "" {
 					t.Errorf("piece %d: %v", i, err)
 				}
@@ -59,8 +56,8 @@
 	}
 }
 
-// Half a line of the caller's at the move takes nothing along: the next hop has whole lines,
-// as many as came before its end, and then that end.
+// Half a line of the client's at the migration is not relayed: the upstream has complete
+// lines, as many as came before its end, and then that end.
 func TestPartialClientLineDuringMigration(t *testing.T) {
 	b := startSession(t)
 	b.establish(t)
@@ -68,79 +65,54 @@
 	b.expectLine(t, b.upstreamReader, "whole\r\n")
 	b.session.Migrate()
 	b.expectLine(t, b.clientReader, "MOVE\r\n")
-	write(t, b.client, "ne\r\nand more\r\n") // crosses the end of the other leg
+	write(t, b.client, "ne\r\nand more\r\n") // crosses the end of the other connection
 	b.expectLine(t, b.clientReader, "")
 	rest, err := io.ReadAll(b.upstreamReader)
-	if late := "half a line\r\nand more\r\n"; err != nil || !strings.HasPrefix(late, string(rest)) || len(rest) > 0 && rest[len(rest)-1] != '\n' {
-		t.Errorf("the next hop read %q, %v", rest, err)
+	isPrefix := strings.HasPrefix("half a line\r\nand more\r\n", string(rest))
+	isComplete := len(rest) == 0 || rest[len(rest)-1] == '\n'
+	if err != nil || !isPrefix || !isComplete {
+		t.Errorf("the upstream read %q, %v", rest, err)
 	}
-	b.client.Close()
-	receive(t, b.finished)
+	b.closeClient(t)
 }
 
-// UP and what ends its connection in one segment: the caller has UP, and then the end.
+// UP and what ends its connection in one segment: the client reads UP, and then the end.
 func TestUpstreamEndsRightAfterUp(t *testing.T) {
-	ends := map[string]struct {
+	sayBye := func(upstream net.Conn) {
+		fmt.Fprint(upstream, "BYE\r\n")
+		upstream.Close()
+	}
+	tests := map[string]struct {
 		end  func(upstream net.Conn)
 		want balance.Outcome
 	}{
-		"ends":     {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
-		"says BYE": {func(upstream net.Conn) { fmt.Fprint(upstream, "BYE\r\n"); upstream.Close() }, balance.OK},
+		"closes":   {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
+		"says BYE": {sayBye, balance.OK},
 	}
-	for name, tt := range ends {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := startSession(t)
-			tt.end(b.upstream) // it lies there before anybody is told of UP
+			tt.end(b.upstream) // it is in the socket before the session is established
 			b.establish(t)
-			if outcome := receive(t, b.ended); outcome != tt.want {
-				t.Errorf("ended as %v, want %v", outcome, tt.want)
-			}
-			b.client.Close()
-			receive(t, b.finished)
+			b.expectOutcome(t, tt.want)
+			b.closeClient(t)
 		})
 	}
 }
 
-// A move that is asked for between UP and its relay: UP goes first, then MOVE.
+// A migration that is asked for between UP and its relay: UP goes first, then MOVE.
 func TestMigrationBeforeUpIsRelayed(t *testing.T) {
-	near, client := connPair(t)
-	nodeSide, upstream := connPair(t)
-	b := newFixture(near, client, nodeSide, upstream)
+	clientNear, client := connPair(t)
+	upstreamNear, upstream := connPair(t)
+	b := newFixture(clientNear, client, upstreamNear, upstream)
 	if !b.session.Establish("UP r1", "s1", b.upstreamConn) {
-		t.Fatal("Up was not taken")
+		t.Fatal("UP was not taken")
 	}
 	b.session.Migrate()
 	b.session.Migrate()
 	b.run()
 	b.expectLine(t, b.clientReader, "UP r1\r\n")
 	b.expectLine(t, b.clientReader, "MOVE\r\n")
-	if outcome := receive(t, b.ended); outcome != balance.Cancelled {
-		t.Errorf("ended as %v", outcome)
-	}
-	client.Close()
-	receive(t, b.finished)
-}
-
-// Who is given up gets the answer that promises nothing, once, and is forgotten; who is
-// answered already stays so.
-func TestGiveUp(t *testing.T) {
-	b := startSession(t)
-	b.session.GiveUp()
-	b.expectLine(t, b.clientReader, "ERR\r\n")
-	receive(t, b.gone)
-	receive(t, b.session.Context().Done())
-	if b.session.Establish("UP r1", "s1", b.upstreamConn) {
-		t.Error("an UP was taken for one that was given up")
-	}
-	b.session.GiveUp() // told a second time, the watcher's channel would be closed twice
-	b.expectLine(t, b.clientReader, "")
-	receive(t, b.finished)
-
-	b = startSession(t)
-	b.establish(t)
-	b.session.GiveUp()
-	write(t, b.upstream, "yes\r\n")
-	b.expectLine(t, b.clientReader, "yes\r\n")
-	b.client.Close()
-	receive(t, b.finished)
+	b.expectOutcome(t, balance.Cancelled)
+	b.closeClient(t)
 }
