--- a/internal/downstream/capacity_test.go
+++ b/internal/downstream/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -11,7 +10,7 @@
 	"time"
 )
 
-// counted notes after each accept how many sockets the server uses.
+// countingListener notes after each accept how many sockets the server uses.
 type countingListener struct {
 	net.Listener
 	server   *Server
@@ -24,40 +23,22 @@
 	return conn, err
 }
 
-// A crowd that rests, sends what is no line, or opens what is never answered, and does not
-// go when it is told to, gets no more sockets than there are, those of read-outs included:
-// once each newcomer was accepted. Usual callers between them are answered.
+// Many clients that stay idle, send what is no request, or send one that is never answered,
+// and do not leave when they are rejected, get no more sockets than there are, those of
+// lingering clients included: once each newcomer was accepted. Usual clients between them
+// are answered.
 func TestManyClientsStayWithinTheSocketLimit(t *testing.T) {
 	const sockets = 32
-	dispatcher := newParkingDispatcher()
-	s := New(dispatcher, nil, Limits{Sockets: sockets})
-	plain, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener := &countingListener{Listener: plain, server: s}
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(listener) }()
+	s := New(newParkingDispatcher(), nil, Limits{Sockets: sockets})
+	listener := &countingListener{Listener: listen(t), server: s}
+	stopServing := serve(t, s, listener)
 	for i := range 200 {
-		conn, err := net.Dial("tcp", plain.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
+		conn := dial(t, listener)
 		defer conn.Close()
-		opens := fmt.Sprintf("OPEN a%d k c=feed,d=40000\r\n", i)
-		fmt.Fprint(conn, []string{"", "HELLO\r\n", strings.Repeat("PING\r\n", maxPings+1), opens, "HELLO\r\n"}[i%5])
+		request := fmt.Sprintf("OPEN a%d k c=feed,d=40000\r\n", i)
+		fmt.Fprint(conn, []string{"", "HELLO\r\n", strings.Repeat("PING\r\n", maxPings+1), request, "HELLO\r\n"}[i%5])
 		if i%20 == 19 {
-			usual, err := net.Dial("tcp", plain.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			begun := time.Now()
-			usual.SetDeadline(begun.Add(testTimeout))
-			fmt.Fprint(usual, "HELLO\r\n")
-			if text, err := bufio.NewReader(usual).ReadString('\n'); text != "ERR\r\n" && text != "BUSY\r\n" {
-				t.Errorf("a usual caller behind %d: %q, %v after %v", i, text, err, time.Since(begun))
-			}
-			usual.Close()
+			expectUsualClientAnswered(t, listener, i)
 		}
 	}
 	if most, bound := listener.maxInUse.Load(), int64(sockets+LingeringSockets(sockets)); most > bound {
@@ -66,38 +47,44 @@
 	if most := listener.maxInUse.Load(); most < sockets {
 		t.Errorf("only %d of %d sockets were in use", most, sockets)
 	}
-	_ = plain.Close()
-	<-served
+	stopServing()
 	s.Close()
 }
 
-// A limit that falls under what stands, as the list grows or a process beside this one
-// takes its share, turns newcomers away, and not from the door.
+func expectUsualClientAnswered(t *testing.T, listener net.Listener, others int) {
+	t.Helper()
+	conn := dial(t, listener)
+	defer conn.Close()
+	begun := time.Now()
+	if err := conn.SetDeadline(begun.Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprint(conn, "HELLO\r\n")
+	if text, err := bufio.NewReader(conn).ReadString('\n'); text != "ERR\r\n" && text != "BUSY\r\n" {
+		t.Errorf("a usual client behind %d: %q, %v after %v", others, text, err, time.Since(begun))
+	}
+}
+
+// A limit that falls below the open sessions, as the endpoint list grows or another process
+// takes its share, rejects newcomers, and still accepts them.
 func TestSocketLimitBelowOpenSessionsRejectsNewcomers(t *testing.T) {
-	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	dispatcher := newParkingDispatcher()
 	s := New(dispatcher, nil, Limits{Sockets: 32})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(listener) }()
+	listener, stop := serveAll(t, s)
 	for i := range 12 {
-		near, far := connPair(t)
-		listener <- near
-		fmt.Fprintf(far, "OPEN a%d k c=feed,d=40000\r\n", i)
+		listener.connect(t, fmt.Sprintf("OPEN a%d k c=feed,d=40000\r\n", i))
 		<-dispatcher.submitted
 	}
 	s.SetSocketLimit(8)
 	for range 20 {
-		near, far := connPair(t)
-		listener <- near
-		fmt.Fprint(far, "OPEN b k c=feed,d=900\r\n")
-		if text, err := io.ReadAll(far); string(text) != "BUSY\r\n" || err != nil {
-			t.Errorf("a newcomer: %q, %v", text, err)
+		newcomer := listener.connect(t, "OPEN b k c=feed,d=900\r\n")
+		if text := readAll(t, newcomer); text != "BUSY\r\n" {
+			t.Errorf("a newcomer: %q", text)
 		}
-		far.Close()
+		newcomer.Close()
 	}
 	if len(dispatcher.submitted) > 0 {
-		t.Error("a newcomer was taken")
+		t.Error("a newcomer was submitted")
 	}
-	_ = listener.Close()
-	<-served
-	s.Close()
+	stop()
 }
--- a/internal/downstream/drain_test.go
+++ b/internal/downstream/drain_test.go
@@ -10,224 +10,215 @@
 	"testing/synctest"
 	"time"
 
-	"coralrelay/balance"
 	"coralrelay/internal/bufconn"
-	"coralrelay/internal/dispatch"
-	"coralrelay/internal/proxy"
 )
 
-// parked takes transactions and answers none. What it is told it keeps, in order.
-type parkingDispatcher struct {
-	submitted chan *proxy.Session
-	events    chan string
-	release   chan struct{} // Submit waits for it; nil for nothing
-}
-
-func newParkingDispatcher() *parkingDispatcher {
-	return &parkingDispatcher{submitted: make(chan *proxy.Session, 64), events: make(chan string, 64)}
-}
-
-func (p *parkingDispatcher) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
-	p.submitted <- item.(*proxy.Session)
-	if p.release != nil {
-		<-p.release
-	}
-	p.events <- "submitted " + item.PlacementRequest().ID
-}
-func (p *parkingDispatcher) Adopt(dispatch.Placement, string) bool { return true }
-func (p *parkingDispatcher) ClientGone(item dispatch.Placement) {
-	p.events <- "gone " + item.PlacementRequest().ID
-}
-func (p *parkingDispatcher) PlacementEnded(item dispatch.Placement, _ balance.Outcome) {
-	p.events <- "ended " + item.PlacementRequest().ID
-}
-
-// all is what comes until the end, which must be one in good order.
-func readAll(t *testing.T, far net.Conn) string {
-	t.Helper()
-	text, err := io.ReadAll(far)
-	if err != nil {
-		t.Errorf("after %q: %v", text, err)
-	}
-	return string(text)
-}
-
-// By the plan's end everybody has the answer that is due, and the end of the connection in
-// good order: who rests, who is being read out, who waits for longer than the plan lasts,
-// and who stands. Once they were cut off.
+// By the end of the plan every client has the answer that is due, and the end of the
+// connection without a reset: an idle one, one that lingers, one that waits for longer than
+// the plan lasts, and one with an established session. Once they were cut off.
 func TestDrainAnswersEveryClient(t *testing.T) {
-	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	dispatcher := newParkingDispatcher()
 	s := New(dispatcher, nil, Limits{Sockets: 64})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(listener) }()
-	connect := func(text string) net.Conn {
-		near, far := connPair(t)
-		listener <- near
-		fmt.Fprint(far, text)
-		return far
-	}
-	idle := connect("")
-	halfLine := connect("OPEN h k c=fe")
-	waiting := connect("OPEN late k c=feed,d=40000\r\n")
-	sticky := connect("OPEN home k c=feed,d=40000,at=s1\r\n")
+	listener, stop := serveAll(t, s)
+	idle := listener.connect(t, "")
+	halfLine := listener.connect(t, "OPEN h k c=fe")
+	waiting := listener.connect(t, "OPEN late k c=feed,d=40000\r\n")
+	sticky := listener.connect(t, "OPEN home k c=feed,d=40000,at=s1\r\n")
 	for range 2 {
 		<-dispatcher.submitted
 	}
-	established := connect("OPEN stands k c=feed,d=900\r\n")
+	established := listener.connect(t, "OPEN stands k c=feed,d=900\r\n")
 	upstreamNear, upstream := connPair(t)
-	if up := <-dispatcher.submitted; !up.Establish("UP r1", "s1", bufconn.New(upstreamNear)) {
-		t.Fatal("not up")
+	if session := <-dispatcher.submitted; !session.Establish("UP r1", "s1", bufconn.New(upstreamNear)) {
+		t.Fatal("UP was not taken")
 	}
 	if text, _ := bufio.NewReader(established).ReadString('\n'); text != "UP r1\r\n" {
 		t.Fatalf("%q", text)
 	}
 
 	begun := time.Now()
-	plan := DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(200 * time.Millisecond), MoveEndAt: begun.Add(500 * time.Millisecond),
-		EndAt: begun.Add(900 * time.Millisecond)}
-	drained := make(chan time.Duration, 1)
-	go func() { s.Drain(plan); drained <- time.Since(begun) }()
+	drained := startDrain(s, begun, DrainPlan{
+		RejectAt:    begun,
+		MoveStartAt: begun.Add(200 * time.Millisecond),
+		MoveEndAt:   begun.Add(500 * time.Millisecond),
+		EndAt:       begun.Add(900 * time.Millisecond),
+	})
 	for s.AcceptsClients() {
 		time.Sleep(time.Millisecond)
 	}
-	if text := readAll(t, connect("OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
-		t.Errorf("who comes later: %q", text)
+	if text := readAll(t, listener.connect(t, "OPEN new k c=feed,d=900\r\n")); text != "BUSY\r\n" {
+		t.Errorf("a newcomer: %q", text)
 	}
-	for name, c := range map[string]struct {
+	for _, client := range []struct {
+		name string
 		far  net.Conn
 		want string
-	}{"rests": {idle, "BUSY\r\n"}, "half a line": {halfLine, "BUSY\r\n"}, "waits": {waiting, "ERR\r\n"},
-		"waits for who holds it": {sticky, "ERR\r\n"}, "stands": {established, "MOVE\r\n"}} {
-		if text := readAll(t, c.far); text != c.want {
-			t.Errorf("%s: %q, want %q", name, text, c.want)
+	}{
+		{"idle", idle, "BUSY\r\n"},
+		{"half a line", halfLine, "BUSY\r\n"},
+		{"waiting", waiting, "ERR\r\n"},
+		{"waiting for its server", sticky, "ERR\r\n"},
+		{"established", established, "MOVE\r\n"},
+	} {
+		if text := readAll(t, client.far); text != client.want {
+			t.Errorf("%s: %q, want %q", client.name, text, client.want)
 		}
-		c.far.Close()
+		client.far.Close()
 	}
-	upstream.Close()
+	_ = upstream.Close()
 	if took := <-drained; took > 900*time.Millisecond+50*time.Millisecond {
 		t.Errorf("it took %v", took)
 	}
-	_ = listener.Close()
-	<-served
-	s.Close()
+	stop()
+	expectDrainEvents(t, dispatcher)
+}
+
+// expectDrainEvents checks what the dispatcher of TestDrainAnswersEveryClient was notified of.
+func expectDrainEvents(t *testing.T, dispatcher *parkingDispatcher) {
+	t.Helper()
 	events := map[string]bool{}
 	for len(dispatcher.events) > 0 {
 		events[<-dispatcher.events] = true
 	}
 	for _, want := range []string{"gone late", "gone home", "ended stands"} {
 		if !events[want] {
-			t.Errorf("the decider was not told: %s (%v)", want, events)
+			t.Errorf("the dispatcher was not notified: %s (%v)", want, events)
 		}
 	}
 	if events["submitted new"] || events["submitted h"] {
-		t.Errorf("what was read after the beginning went on: %v", events)
+		t.Errorf("what was read after the drain began was submitted: %v", events)
 	}
 }
 
-// The drain waits for who is being read out, and the end for who was accepted last: neither
-// is cut while it still sends.
+// startDrain runs a drain. The returned channel receives the time from begun to its end.
+func startDrain(s *Server, begun time.Time, plan DrainPlan) <-chan time.Duration {
+	drained := make(chan time.Duration, 1)
+	go func() {
+		s.Drain(plan)
+		drained <- time.Since(begun)
+	}()
+	return drained
+}
+
+// The drain waits for lingering clients, and Close for the one that was accepted last:
+// neither is cut while it still sends.
 func TestDrainWaitsForLingeringClients(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		for _, withSession := range []bool{false, true} {
-			dispatcher, listener := newParkingDispatcher(), make(fakeListener)
-			s := New(dispatcher, nil, Limits{Sockets: 64})
-			served := make(chan error, 1)
-			go func() { served <- s.Serve(listener) }()
-			connect := func(text string) net.Conn {
-				near, far := net.Pipe()
-				listener <- near
-				fmt.Fprint(far, text)
-				return far
-			}
-			var stop func()
-			if withSession {
-				far := connect("OPEN stands k c=feed,d=900\r\n")
-				near, upstream := net.Pipe()
-				(<-dispatcher.submitted).Establish("UP r1", "s1", bufconn.New(near))
-				lines := bufio.NewReader(far)
-				_, _ = lines.ReadString('\n')
-				stop = func() { _, _ = io.ReadAll(lines); far.Close(); upstream.Close() }
-			}
-			time.Sleep(time.Second)
-			idle := connect("")
-			begun := time.Now()
-			plan := DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(time.Second), MoveEndAt: begun.Add(2 * time.Second), EndAt: begun.Add(2400 * time.Millisecond)}
-			drained := make(chan time.Duration, 1)
-			go func() { s.Drain(plan); drained <- time.Since(begun) }()
-			if withSession {
-				go stop()
-			}
-			// Alone it is told when nobody comes any more, else by its own time.
-			text, err := bufio.NewReader(idle).ReadString('\n')
-			if at := time.Since(begun); text != "BUSY\r\n" || at > 2*time.Second || !withSession && (at < arrivalWindow || at > arrivalWindow+2*drainInterval) {
-				t.Errorf("%q, %v after %v", text, err, at)
-			}
-			at := time.Now()
-			for { // it sends on until the other side ends
-				if _, err := fmt.Fprint(idle, "OPEN late k c=feed,d=900\r\n"); err != nil {
-					break
-				}
-				time.Sleep(10 * time.Millisecond)
-			}
-			if sent := time.Since(at); sent < lingerTimeout {
-				t.Errorf("it was cut off %v after its answer", sent)
-			}
-			idle.Close()
-			if took := <-drained; took > 2400*time.Millisecond {
-				t.Errorf("it took %v", took)
-			}
-			last := func() net.Conn { near, far := net.Pipe(); listener <- near; return far }() // before the listener closes
-			_ = listener.Close()
-			<-served
-			closed := make(chan struct{})
-			go func() { s.Close(); close(closed) }()
-			if text, err := bufio.NewReader(last).ReadString('\n'); text != "BUSY\r\n" {
-				t.Errorf("who was accepted last: %q, %v", text, err)
-			}
-			last.Close()
-			<-closed
-		}
+	for name, withSession := range map[string]bool{"alone": false, "with an established session": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testDrainWaitsForLingeringClients(t, withSession) })
+		})
+	}
+}
+
+func testDrainWaitsForLingeringClients(t *testing.T, withSession bool) {
+	dispatcher := newParkingDispatcher()
+	s := New(dispatcher, nil, Limits{Sockets: 64})
+	listener := make(fakeListener)
+	stopServing := serve(t, s, listener)
+	var endSession func()
+	if withSession {
+		endSession = establishOnPipes(dispatcher, listener)
+	}
+	time.Sleep(time.Second)
+	idle := listener.connectPipe("")
+	begun := time.Now()
+	drained := startDrain(s, begun, DrainPlan{
+		RejectAt:    begun,
+		MoveStartAt: begun.Add(time.Second),
+		MoveEndAt:   begun.Add(2 * time.Second),
+		EndAt:       begun.Add(2400 * time.Millisecond),
 	})
+	if withSession {
+		go endSession()
+	}
+	text, err := bufio.NewReader(idle).ReadString('\n')
+	answeredAfter := time.Since(begun)
+	if text != "BUSY\r\n" || answeredAfter > 2*time.Second {
+		t.Errorf("%q, %v after %v", text, err, answeredAfter)
+	}
+	// Alone it is answered when nobody arrives any more, else by its own time.
+	if !withSession && (answeredAfter < arrivalWindow || answeredAfter > arrivalWindow+2*drainInterval) {
+		t.Errorf("answered after %v, want about %v", answeredAfter, arrivalWindow)
+	}
+	if sent := writeUntilClosed(idle); sent < lingerTimeout {
+		t.Errorf("it was cut off %v after its answer", sent)
+	}
+	idle.Close()
+	if took := <-drained; took > 2400*time.Millisecond {
+		t.Errorf("it took %v", took)
+	}
+	near, last := net.Pipe()
+	listener <- near // before the listener closes
+	stopServing()
+	closed := make(chan struct{})
+	go func() {
+		s.Close()
+		close(closed)
+	}()
+	if text, err := bufio.NewReader(last).ReadString('\n'); text != "BUSY\r\n" {
+		t.Errorf("the client that was accepted last: %q, %v", text, err)
+	}
+	last.Close()
+	<-closed
+}
+
+// establishOnPipes establishes a session. The returned function ends it when its client is
+// migrated.
+func establishOnPipes(dispatcher *parkingDispatcher, listener fakeListener) (end func()) {
+	far := listener.connectPipe("OPEN stands k c=feed,d=900\r\n")
+	near, upstream := net.Pipe()
+	(<-dispatcher.submitted).Establish("UP r1", "s1", bufconn.New(near))
+	lines := bufio.NewReader(far)
+	_, _ = lines.ReadString('\n')
+	return func() {
+		_, _ = io.ReadAll(lines)
+		far.Close()
+		upstream.Close()
+	}
+}
+
+// writeUntilClosed sends requests until the other side ends, and returns how long that took.
+func writeUntilClosed(conn net.Conn) time.Duration {
+	begun := time.Now()
+	for {
+		if _, err := fmt.Fprint(conn, "OPEN late k c=feed,d=900\r\n"); err != nil {
+			return time.Since(begun)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
-// The last call comes between a transaction's admission and its way to the decider: it has
-// one answer, and the decider, which has it by then, is told that it is over. Told before,
-// it would have sent it on.
+// A session is given up between its admission and its submission: it has one answer, and the
+// dispatcher, which has it by then, is notified that it is over. Notified before, it would
+// have placed the session.
 func TestGivesUpASessionBeingSubmitted(t *testing.T) {
-	dispatcher, listener := newParkingDispatcher(), make(fakeListener)
+	dispatcher := newParkingDispatcher()
 	dispatcher.release = make(chan struct{})
 	s := New(dispatcher, nil, Limits{Sockets: 64})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(listener) }()
-	near, far := connPair(t)
-	listener <- near
-	fmt.Fprint(far, "OPEN a k c=feed,d=40000\r\n")
+	listener, stop := serveAll(t, s)
+	client := listener.connect(t, "OPEN a k c=feed,d=40000\r\n")
 	<-dispatcher.submitted
-	drained := make(chan struct{})
-	go func() {
-		now := time.Now()
-		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now, EndAt: now.Add(finalAnswerTime + 100*time.Millisecond)})
-		close(drained)
-	}()
-	for { // until newcomers are seen off unread
-		near, other := connPair(t)
-		listener <- near
-		other.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
-		if text, _ := bufio.NewReader(other).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
+	now := time.Now()
+	end := now.Add(finalAnswerTime + 100*time.Millisecond)
+	drained := startDrain(s, now, DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now, EndAt: end})
+	for { // until newcomers are rejected unread
+		newcomer := listener.connect(t, "")
+		if err := newcomer.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if text, _ := bufio.NewReader(newcomer).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
 			break
 		}
-		other.Close()
+		newcomer.Close()
 	}
 	close(dispatcher.release)
-	if text := readAll(t, far); text != "ERR\r\n" {
+	if text := readAll(t, client); text != "ERR\r\n" {
 		t.Errorf("answered %q", text)
 	}
-	far.Close()
+	client.Close()
 	<-drained
-	_ = listener.Close()
-	<-served
-	s.Close()
+	stop()
 	if first, second := <-dispatcher.events, <-dispatcher.events; first != "submitted a" || second != "gone a" {
-		t.Errorf("told %q, then %q", first, second)
+		t.Errorf("notified %q, then %q", first, second)
 	}
 }
--- /dev/null
+++ b/internal/downstream/fixture_test.go
@@ -0,0 +1,158 @@
+package downstream
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/dispatch"
+	"coralrelay/internal/proxy"
+)
+
+const testTimeout = 10 * time.Second // no test waits this long unless it fails
+
+// rejectingDispatcher keeps the sessions that are submitted, and rejects them.
+type rejectingDispatcher chan *proxy.Session
+
+func (d rejectingDispatcher) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
+	d <- item.(*proxy.Session)
+	item.Reject(0)
+}
+
+func (rejectingDispatcher) Adopt(dispatch.Placement, string) bool              { return true }
+func (rejectingDispatcher) ClientGone(dispatch.Placement)                      {}
+func (rejectingDispatcher) PlacementEnded(dispatch.Placement, balance.Outcome) {}
+
+// parkingDispatcher keeps the sessions that are submitted and answers none. It records what
+// it is notified of, in order.
+type parkingDispatcher struct {
+	submitted chan *proxy.Session
+	events    chan string
+	release   chan struct{} // Submit waits for it; nil for nothing
+}
+
+func newParkingDispatcher() *parkingDispatcher {
+	return &parkingDispatcher{submitted: make(chan *proxy.Session, 64), events: make(chan string, 64)}
+}
+
+func (p *parkingDispatcher) Submit(item dispatch.Placement, _ dispatch.AttemptStarter) {
+	p.submitted <- item.(*proxy.Session)
+	if p.release != nil {
+		<-p.release
+	}
+	p.events <- "submitted " + item.PlacementRequest().ID
+}
+
+func (p *parkingDispatcher) Adopt(dispatch.Placement, string) bool { return true }
+
+func (p *parkingDispatcher) ClientGone(item dispatch.Placement) {
+	p.events <- "gone " + item.PlacementRequest().ID
+}
+
+func (p *parkingDispatcher) PlacementEnded(item dispatch.Placement, _ balance.Outcome) {
+	p.events <- "ended " + item.PlacementRequest().ID
+}
+
+// fakeListener accepts the connections that are put into it.
+type fakeListener chan net.Conn
+
+func (l fakeListener) Accept() (net.Conn, error) {
+	if c, ok := <-l; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+func (l fakeListener) Close() error { close(l); return nil }
+func (fakeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// connect accepts a new connection on real sockets, writes text from its far end and returns
+// that.
+func (l fakeListener) connect(t *testing.T, text string) net.Conn {
+	t.Helper()
+	near, far := connPair(t)
+	l <- near
+	fmt.Fprint(far, text)
+	return far
+}
+
+// connectPipe does the same on a pipe, for tests in a synctest bubble.
+func (l fakeListener) connectPipe(text string) net.Conn {
+	near, far := net.Pipe()
+	l <- near
+	fmt.Fprint(far, text)
+	return far
+}
+
+// serve runs a server. The returned function closes the listener and waits for Serve.
+func serve(t *testing.T, s *Server, l net.Listener) (stopServing func()) {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	return func() {
+		t.Helper()
+		_ = l.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// serveAll runs a server on a fakeListener. The returned function ends both.
+func serveAll(t *testing.T, s *Server) (listener fakeListener, stop func()) {
+	listener = make(fakeListener)
+	stopServing := serve(t, s, listener)
+	return listener, func() {
+		t.Helper()
+		stopServing()
+		s.Close()
+	}
+}
+
+// listen returns a listener on a real socket.
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// dial connects to a listener.
+func dial(t *testing.T, l net.Listener) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// connPair returns both ends of a connection on real sockets.
+func connPair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	l := listen(t)
+	defer l.Close()
+	there := dial(t, l)
+	here, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { here.Close(); there.Close() })
+	if err := there.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	return here.(*net.TCPConn), there.(*net.TCPConn)
+}
+
+// readAll returns what is read until the end, which must not be a reset.
+func readAll(t *testing.T, far net.Conn) string {
+	t.Helper()
+	text, err := io.ReadAll(far)
+	if err != nil {
+		t.Errorf("after %q: %v", text, err)
+	}
+	return string(text)
+}
--- a/internal/downstream/lingering_test.go
+++ b/internal/downstream/lingering_test.go
@@ -13,31 +13,8 @@
 	"golang.org/x/sys/unix"
 )
 
-const testTimeout = 10 * time.Second // no test waits this long unless it fails
-
-// pair returns both ends of a connection on real sockets.
-func connPair(t *testing.T) (near, far *net.TCPConn) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	there, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	here, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { here.Close(); there.Close() })
-	there.SetDeadline(time.Now().Add(testTimeout))
-	return here.(*net.TCPConn), there.(*net.TCPConn)
-}
-
-// crossing is a connection on which a request comes in the moment in which the last answer
-// has been written and the node has not gone on: it lies in the socket when the write
+// crossingConn is a connection on which a request arrives at the moment at which the last
+// answer has been written and the server has not gone on: it is in the socket when the write
 // returns.
 type crossingConn struct {
 	*net.TCPConn
@@ -59,7 +36,7 @@
 	return n, err
 }
 
-// unread is how much lies in the socket.
+// unread returns how many bytes are in the socket.
 func (c *crossingConn) unread() (n int) {
 	raw, err := c.SyscallConn()
 	if err == nil {
@@ -68,64 +45,61 @@
 	return n
 }
 
-// The last answer reaches a caller whose request crosses it, whatever it is told and why:
-// once a plain close over that request was a reset, which took the answer with it. It is
-// the only answer, and the request goes nowhere.
+// The last answer reaches a client whose request crosses it, whatever it is and why it is
+// sent: once a plain close over that request was a reset, which took the answer with it. It
+// is the only answer, and the request is not submitted.
 func TestLastAnswerSurvivesACrossingRequest(t *testing.T) {
-	type told struct {
-		name, clientWrites, want string
-		pongs                    int
-		meanwhile                func(s *Server, connect func())
-	}
-	makeCapacity := func(_ *Server, connect func()) { // for others
+	evictForOthers := func(t *testing.T, _ *Server, listener fakeListener) {
 		for range 4 {
-			connect()
+			listener.connect(t, "")
 		}
 	}
-	drain := func(s *Server, _ func()) {
+	drain := func(_ *testing.T, s *Server, _ fakeListener) {
 		now := time.Now()
 		s.Drain(DrainPlan{RejectAt: now, MoveStartAt: now, MoveEndAt: now.Add(time.Second), EndAt: now.Add(time.Second)})
 	}
-	tests := []told{
-		{name: "rests", want: "BUSY 500"},
-		{name: "rests after PINGs", clientWrites: "PING\r\nPING\r\n", pongs: 2, want: "BUSY 500"},
-		{name: "PINGs too often", clientWrites: strings.Repeat("PING\r\n", maxPings+1), pongs: maxPings, want: "ERR"},
-		{name: "half a line", clientWrites: "OPEN a k c=fe", want: "ERR"},
-		{name: "no line", clientWrites: "HELLO\r\n", want: "ERR"},
-		{name: "rests, makes room", meanwhile: makeCapacity, want: "BUSY 500"},
-		{name: "half a line, makes room", clientWrites: "OPEN a k c=fe", meanwhile: makeCapacity, want: "BUSY 500"},
-		{name: "rests to the end", meanwhile: drain, want: "BUSY 500"},
-		{name: "rests to the end after a PING", clientWrites: "PING\r\n", pongs: 1, meanwhile: drain, want: "BUSY 500"},
-		{name: "half a line at the end", clientWrites: "OPEN a k c=fe", meanwhile: drain, want: "BUSY 500"},
+	const halfLine, tooManyPings = "OPEN a k c=fe", maxPings + 1
+	tests := []struct {
+		name, clientWrites, want string
+		pongs                    int
+		meanwhile                func(t *testing.T, s *Server, listener fakeListener)
+	}{
+		{name: "idle", want: "BUSY 500"},
+		{name: "idle after PINGs", clientWrites: "PING\r\nPING\r\n", pongs: 2, want: "BUSY 500"},
+		{name: "too many PINGs", clientWrites: strings.Repeat("PING\r\n", tooManyPings), pongs: maxPings, want: "ERR"},
+		{name: "half a line", clientWrites: halfLine, want: "ERR"},
+		{name: "no request", clientWrites: "HELLO\r\n", want: "ERR"},
+		{name: "idle, evicted", meanwhile: evictForOthers, want: "BUSY 500"},
+		{name: "half a line, evicted", clientWrites: halfLine, meanwhile: evictForOthers, want: "BUSY 500"},
+		{name: "idle during a drain", meanwhile: drain, want: "BUSY 500"},
+		{name: "idle after a PING during a drain", clientWrites: "PING\r\n", pongs: 1, meanwhile: drain, want: "BUSY 500"},
+		{name: "half a line during a drain", clientWrites: halfLine, meanwhile: drain, want: "BUSY 500"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			d, l := make(rejectingDispatcher, 8), make(fakeListener)
-			s := New(d, nil, Limits{Sockets: 4, RetryAfter: 500 * time.Millisecond})
-			served := make(chan error, 1)
-			go func() { served <- s.Serve(l) }()
+			dispatcher := make(rejectingDispatcher, 8)
+			s := New(dispatcher, nil, Limits{Sockets: 4, RetryAfter: 500 * time.Millisecond})
+			listener, stop := serveAll(t, s)
 			near, far := connPair(t)
-			l <- &crossingConn{TCPConn: near, far: far}
+			listener <- &crossingConn{TCPConn: near, far: far}
 			fmt.Fprint(far, tt.clientWrites)
-			r := bufio.NewReader(far)
+			reader := bufio.NewReader(far)
 			for range tt.pongs {
-				if text, err := r.ReadString('\n'); text != "PONG\r\n" {
+				if text, err := reader.ReadString('\n'); text != "PONG\r\n" {
 					t.Fatalf("%q, %v", text, err)
 				}
 			}
 			if tt.meanwhile != nil {
-				tt.meanwhile(s, func() { near, _ := connPair(t); l <- near })
+				tt.meanwhile(t, s, listener)
 			}
-			if all, err := io.ReadAll(r); err != nil || string(all) != tt.want+"\r\n" {
-				t.Errorf("%q, %v; want %q and the end", all, err, tt.want)
+			if rest, err := io.ReadAll(reader); err != nil || string(rest) != tt.want+"\r\n" {
+				t.Errorf("%q, %v; want %q and the end", rest, err, tt.want)
 			}
-			if len(d) > 0 {
-				t.Error("the request went on")
+			if len(dispatcher) > 0 {
+				t.Error("the request was submitted")
 			}
-			_ = l.Close()
-			<-served
-			s.Close()
+			stop()
 		})
 	}
 }
