agent: one concern a file, one proposal path, typed rates and limits, logs as attributes

The two proposal functions are one (proposal.go); samples, set-up rates, usages, state and contact with the log are files of their own; tuples of maps are setupRates, strictestLimits, tableVersions, leaseParts. Nothing else changed.

--- a/internal/fleet/agent/accounts_test.go
+++ b/internal/fleet/agent/accounts_test.go
@@ -145,7 +145,7 @@
 		{usage(7, 0), map[string]account.Amounts{"x": {Setups: 9}}},
 		{usage(5, 2), map[string]account.Amounts{"x": {Setups: 9}}},
 	} {
-		if got := completeUsages([]gossip.Usage{tt.use}, s, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
+		if got := completeUsages([]gossip.Usage{tt.use}, s.Accounts, 7)[0].UsedBefore; fmt.Sprint(got) != fmt.Sprint(tt.want) {
 			t.Errorf("%+v: %v, want %v", tt.use, got, tt.want)
 		}
 	}
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -1,11 +1,7 @@
-// Package agent holds the parts of the fleet's agent together: gossip, the record beside
-// it, the decider that turns what members saw into changes of the record, and what the node
-// and operators are answered. Without a record the rest goes on.
 package agent
 
 import (
 	"context"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -13,62 +9,78 @@
 	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/fleet/gossip"
 	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/quota"
 	"coralrelay/internal/fleet/replog"
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// every is how often evidence is looked at. A change of the record is heard at once.
+// component is the attribute of the package's log lines.
+const component = "agent"
+
+// evaluationInterval is how often members' reports are looked at. A change of the log is
+// seen at once.
 const evaluationInterval = 100 * time.Millisecond
 
-// Record is what an agent asks of package record.
+// ReplicatedLog is what an agent needs of its replica.
 type ReplicatedLog interface {
+	// View returns the last state, and how fresh it is.
 	View() replog.View
+	// Changed returns a channel that is closed when the view changes.
 	Changed() <-chan struct{}
+	// Propose has an entry appended, and returns what became of it.
 	Propose(context.Context, logentry.Entry) (logentry.Outcome, error)
 	IsLeader() bool
 }
 
-// Options say what an agent is made of.
+// Options configure an agent.
 type Options struct {
 	Name, Zone     string
 	Gossip         *gossip.Member
-	Log            ReplicatedLog      // nil for none
-	NoLogReason    string             // there is none: off, or what is wrong
-	Zones          *zonestatus.Config // nil where zones are not left
-	LogLease       time.Duration      // the record's
-	ClockOffset    time.Duration      // of the agent's clock over the machine's, for rehearsals
-	Clock          func() time.Duration
-	AlwaysIsolated bool // a guard taken out: decide alone though the record is heard
-	ZoneGuards     zonestatus.Guards
-	SLO            *SLOOptions          // nil where contracts are not kept
-	Accounts       *account.LeaseConfig // nil where routes and limits are not told
+	Log            ReplicatedLog        // nil for none
+	NoLogReason    string               // why there is none: "off", or what is wrong
+	LogLease       time.Duration        // the log's lease
+	Clock          func() time.Duration // Unix time, as this agent has it
+	ClockOffset    time.Duration        // of Clock over the machine's, for rehearsals
+	Zones          *zonestatus.Config   // nil where zones are not evacuated
+	ZoneGuards     zonestatus.Guards    // guards that a mutation disables
+	AlwaysIsolated bool                 // a mutation: decide alone even within the log's lease
+	SLO            *SLOOptions          // nil where no objectives are kept
+	Accounts       *account.LeaseConfig // nil where the node gets no routes and limits
 }
 
-// Agent answers a node and operators: it is a link.Agent.
+// Agent answers a node and operators: it is an agentapi.Agent. Its methods may be called by
+// several goroutines at once.
 type Agent struct {
 	Options
-	startedAt          time.Duration
+	startedAt   time.Duration
+	objectives  *objectiveKeeper // nil without SLO
+	routeTables routeTables
+	allocator   quotaAllocator
+
+	// Owned by Run.
 	isolatedController *zonestatus.IsolatedController
 	zoneController     *zonestatus.Controller
-	loggedStale        bool             // it was said that the record is not heard
-	proposalSlot       chan struct{}    // holds one while a proposal is under way
-	objectives         *objectiveKeeper // nil without promises
-	routeTables        routeTables
-	allocator          quotaAllocator
+	loggedStale        bool          // it was logged that the log is out of its lease
+	proposalSlot       chan struct{} // holds one while a zone change is proposed
 
 	mu       sync.Mutex
-	decision gossip.Decision
+	decision gossip.Decision // the last one
 }
 
-// New returns an agent that Run has to keep.
+var _ agentapi.Agent = (*Agent)(nil)
+
+// New returns an agent that Run has to serve.
 func New(options Options) *Agent {
 	a := &Agent{Options: options, startedAt: options.Clock(), proposalSlot: make(chan struct{}, 1)}
 	if options.Zones != nil {
-		a.isolatedController, a.zoneController = zonestatus.NewIsolatedController(*options.Zones), zonestatus.NewController(*options.Zones)
-		a.isolatedController.DisabledGuards, a.zoneController.DisabledGuards = options.ZoneGuards, options.ZoneGuards
+		a.isolatedController = zonestatus.NewIsolatedController(*options.Zones)
+		a.isolatedController.DisabledGuards = options.ZoneGuards
+		a.zoneController = zonestatus.NewController(*options.Zones)
+		a.zoneController.DisabledGuards = options.ZoneGuards
 	}
 	if options.Accounts != nil {
-		a.allocator.config, a.allocator.jobs = *options.Accounts, make(chan allocationJob, 1)
+		a.allocator.config = *options.Accounts
+		a.allocator.jobs = make(chan allocationJob, 1)
 	}
 	if options.SLO != nil {
 		a.objectives = newObjectiveKeeper(options)
@@ -76,14 +88,15 @@
 	return a
 }
 
-// Run decides until ctx ends.
+// Run evaluates members' reports and the log until ctx ends. It returns when nothing of the
+// agent runs any more.
 func (a *Agent) Run(ctx context.Context) {
-	var proposals sync.WaitGroup
-	defer proposals.Wait()
+	var goroutines sync.WaitGroup
+	defer goroutines.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a.objectives.sendSamples(ctx, &proposals)
-	proposals.Go(func() { a.allocator.run(ctx, a) })
+	a.objectives.sendSamples(ctx, &goroutines)
+	goroutines.Go(func() { a.allocator.run(ctx, a) })
 	ticker := time.NewTicker(evaluationInterval)
 	defer ticker.Stop()
 	for {
@@ -91,7 +104,7 @@
 		if a.Log != nil {
 			changed = a.Log.Changed()
 		}
-		a.evaluate(ctx, &proposals)
+		a.evaluate(ctx, &goroutines)
 		select {
 		case <-ctx.Done():
 			return
@@ -101,61 +114,63 @@
 	}
 }
 
-// step looks at the record and at what was seen, once.
-func (a *Agent) evaluate(ctx context.Context, proposals *sync.WaitGroup) {
+// evaluate looks at the log and at members' reports once. Proposals run on goroutines.
+func (a *Agent) evaluate(ctx context.Context, goroutines *sync.WaitGroup) {
 	now := a.Clock()
 	var view replog.View
 	if a.Log != nil {
 		view = a.Log.View()
 	}
+	var zones zonestatus.State
+	if view.State != nil {
+		zones = view.State.Zones
+	}
+	a.decide(now, view, zones)
+	if a.Zones != nil && a.isLeader() {
+		a.proposeZoneChange(ctx, now, zones, goroutines)
+	}
+	if a.Accounts != nil {
+		a.routeTables.rebuild(now, view.State)
+	}
+	a.evaluateObjectives(ctx, now, view, a.isLeader(), goroutines)
+}
+
+// decide sets what gossip tells the node: which part of the traffic into other zones it may
+// send, by the log or, out of its lease, by the isolated controller.
+func (a *Agent) decide(now time.Duration, view replog.View, zones zonestatus.State) {
 	var decision gossip.Decision
-	var state zonestatus.State
 	if view.State != nil {
-		decision.LogIndex, state = view.State.Index, view.State.Zones
+		decision.LogIndex = view.State.Index
 	}
 	followsLog := a.followsLog(now, view) && !a.AlwaysIsolated
 	switch {
 	case a.Zones == nil:
 	case followsLog:
-		decision.ZoneLimits, decision.ShedFraction = state.TrafficLimits(a.Zone), state.Shed
+		decision.ZoneLimits = zones.TrafficLimits(a.Zone)
+		decision.ShedFraction = zones.Shed
 	default:
-		decision.ZoneLimits, decision.ShedFraction = a.isolatedController.Evaluate(now, state, a.Gossip.OwnZoneReport()), state.Shed
+		decision.ZoneLimits = a.isolatedController.Evaluate(now, zones, a.Gossip.OwnZoneReport())
+		decision.ShedFraction = zones.Shed
 	}
 	a.Gossip.SetDecision(decision)
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.decision = decision
-	a.mu.Unlock()
-	if a.Zones != nil && a.Log != nil && a.Log.IsLeader() {
-		a.proposeZoneChange(ctx, now, state, proposals)
-	}
-	if a.Accounts != nil {
-		a.routeTables.rebuild(now, view.State)
-	}
-	a.evaluateObjectives(ctx, now, view, a.Log != nil && a.Log.IsLeader(), proposals)
 }
 
-// hears tells whether the record's word holds, and says when it begins or ends not to.
-func (a *Agent) followsLog(now time.Duration, view replog.View) bool {
-	switch {
-	case a.Zones == nil || view.WithinLease != a.loggedStale || !view.WithinLease && now-a.startedAt < a.LogLease:
-		return view.WithinLease
-	case view.WithinLease:
-		slog.Info("fleet: zones: this member goes by the record's word again", "index", view.State.Index, "leader", view.Leader)
-	default:
-		index, age := uint64(0), "never"
-		if view.State != nil {
-			index = view.State.Index
-		}
-		if !view.ConfirmedAt.IsZero() {
-			age = time.Since(view.ConfirmedAt).Round(time.Millisecond).String()
+func (a *Agent) isLeader() bool { return a.Log != nil && a.Log.IsLeader() }
+
+// presentMembers returns the members that have not left.
+func (a *Agent) presentMembers() (members []zonestatus.Member) {
+	for _, m := range a.Gossip.Members() {
+		if m.Status != quota.Left {
+			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
 		}
-		slog.Info("fleet: zones: the record is not heard, this member goes by its last word and by what its node sees", "index", index, "heard", age)
 	}
-	a.loggedStale = !view.WithinLease
-	return view.WithinLease
+	return members
 }
 
-// Answer takes what the node has said. The node's clock is the machine's.
+// HandleReport takes a report of the node and answers it. The node's clock is the machine's.
 func (a *Agent) HandleReport(report agentapi.Report) agentapi.Response {
 	lease := a.Gossip.ReportQuotaUsage(report.QuotaUsage)
 	lease.TokensExpireAt -= a.ClockOffset
--- a/internal/fleet/agent/objectives.go
+++ b/internal/fleet/agent/objectives.go
@@ -1,65 +1,67 @@
 package agent
 
 import (
-	"context"
-	"encoding/json"
-	"log/slog"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"coralrelay/internal/fleet/agentapi"
-	"coralrelay/internal/fleet/logentry"
-	"coralrelay/internal/fleet/quota"
 	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// Promises say how an agent takes part in keeping contracts on response times.
+// SLOOptions say how an agent takes part in keeping contracts on response times.
 type SLOOptions struct {
 	Config     slo.Config
 	TimeScale  int                                    // how many times faster the Config's time passes; 1 but for rehearsals
 	ScaledTime func(unix time.Duration) time.Duration // the Config's time
-	Zones      zonestatus.Config                      // regions, and what a warm next hop bears
-	Voters     []string                               // who may lead
-	Guards     slo.Guards
+	Zones      zonestatus.Config                      // regions, and the capacity of a warm endpoint
+	Voters     []string                               // members that may lead
+	Guards     slo.Guards                             // guards that a mutation disables
 }
 
-const (
-	// waiting is how many samples wait for one voter; beyond that the newest is dropped.
-	maxQueuedSamples = 4
-	// mostSamples are taken from the node at once: it makes one for each part of time.
-	maxSamplesPerReport = 4
-)
+// noContractsVersion is the version of contracts that were not set yet.
+const noContractsVersion = math.MaxUint64
 
-// keeping is one agent's part. Fleet and known are guarded by mu; what is below belongs to
-// the agent's Run.
+// objectiveKeeper is one agent's part in keeping objectives. Every member sends the latency
+// samples of its node to the voters; each of these aggregates them, the leader acts on them.
 type objectiveKeeper struct {
 	SLOOptions
 	name, zone string
 	send       func(member string, message []byte) error
-	queues     map[string]chan []byte // to each other voter
+	queues     map[string]chan []byte // samples for each other voter
 
 	mu          sync.Mutex
-	aggregator  *slo.Aggregator   // nil for one that never leads
-	memberZones map[string]string // members' zones
+	aggregator  *slo.Aggregator   // nil for a member that never leads
+	memberZones map[string]string // the zone of each present member
 
+	// Owned by the agent's Run.
 	controller       *slo.Controller
-	observations     []slo.Observation // not taken yet
-	intervals        []intervalCounts  // the last ones
-	contractsVersion uint64            // of the contracts that the fleet knows
-	regionNames      []string          // and of the regions
-	evaluatedAt      time.Duration
-	zonesVersion     uint64 // version of the postures that were looked at last
-	proposalSlot     chan struct{}
-	proposedIndex    uint64 // the index that the last proposal got, in a slot of busy
+	observations     []slo.Observation // not evaluated yet
+	intervals        []intervalCounts  // the last ones, the oldest first
+	contractsVersion uint64            // of the contracts that the aggregator has
+	regionNames      []string          // of the regions that it has
+	evaluatedAt      time.Duration     // in the Config's time
+	zonesVersion     uint64            // version of the zones' status at the last evaluation
+	proposalSlot     chan struct{}     // holds one while an evaluation or a proposal is under way
+	proposedIndex    uint64            // index of the last proposal; guarded by the proposalSlot
 }
 
 func newObjectiveKeeper(options Options) *objectiveKeeper {
-	k := &objectiveKeeper{SLOOptions: *options.SLO, name: options.Name, zone: options.Zone, send: options.Gossip.Send, queues: map[string]chan []byte{}, proposalSlot: make(chan struct{}, 1), contractsVersion: 1<<64 - 1}
+	k := &objectiveKeeper{
+		SLOOptions:       *options.SLO,
+		name:             options.Name,
+		zone:             options.Zone,
+		send:             options.Gossip.Send,
+		queues:           map[string]chan []byte{},
+		proposalSlot:     make(chan struct{}, 1),
+		contractsVersion: noContractsVersion,
+	}
 	for _, voter := range k.Voters {
 		if voter == k.name {
-			k.aggregator, k.controller = slo.NewAggregator(k.Config), slo.NewController(k.Config)
+			k.aggregator = slo.NewAggregator(k.Config)
+			k.controller = slo.NewController(k.Config)
 			k.controller.DisabledGuards = k.Guards
 			continue
 		}
@@ -69,76 +71,9 @@
 	return k
 }
 
-// run tells the voters what the node has measured, until ctx ends.
-func (k *objectiveKeeper) sendSamples(ctx context.Context, goroutines *sync.WaitGroup) {
-	if k == nil {
-		return
-	}
-	for voter, queue := range k.queues {
-		goroutines.Go(func() {
-			for {
-				select {
-				case <-ctx.Done():
-					return
-				case raw := <-queue:
-					if err := k.send(voter, raw); err != nil {
-						slog.Debug("fleet: promises: a sample was not told", "err", err)
-					}
-				}
-			}
-		})
-	}
-}
-
-// measured takes the node's samples: whoever may lead is told of them. A node is never
-// another than the one beside this agent.
-func (k *objectiveKeeper) queueSamples(now time.Duration, samples []slo.Sample) {
-	for _, sample := range samples[:min(len(samples), maxSamplesPerReport)] {
-		sample.Member, sample.Zone = k.name, k.zone
-		raw, err := json.Marshal(sample)
-		if err != nil {
-			slog.Error("fleet: promises", "err", err)
-			return
-		}
-		for voter, queue := range k.queues {
-			select {
-			case queue <- raw:
-			default:
-				slog.Info("fleet: promises: a sample was dropped, the voter takes none", "voter", voter)
-			}
-		}
-		if k.aggregator != nil {
-			k.merge(now, sample)
-		}
-	}
-}
-
-// hear takes a sample that another member tells.
-func (k *objectiveKeeper) receiveSample(now time.Duration, raw []byte) {
-	var sample slo.Sample
-	if err := logentry.UnmarshalStrict(raw, &sample); err != nil {
-		slog.Warn("fleet: promises: a sample that can't be read", "err", err)
-		return
-	}
-	if k.aggregator != nil && sample.Member != k.name {
-		k.merge(now, sample)
-	}
-}
-
-// merge takes a sample of a member that is there, and stands where it says.
-func (k *objectiveKeeper) merge(now time.Duration, sample slo.Sample) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if zone, known := k.memberZones[sample.Member]; !known || zone != sample.Zone {
-		return
-	}
-	if _, err := k.aggregator.Merge(k.ScaledTime(now), sample); err != nil {
-		slog.Warn("fleet: promises: a sample was refused", "err", err)
-	}
-}
-
-// turn takes what was seen in the parts of time that are over.
-func (k *objectiveKeeper) closeIntervals(now time.Duration, contracts slo.State, regions []slo.Region, members []zonestatus.Member) {
+// closeIntervals takes the observations of the intervals that are over.
+func (k *objectiveKeeper) closeIntervals(now time.Duration, contracts slo.State, regions []slo.Region,
+	members []zonestatus.Member) {
 	var regionNames []string
 	for _, r := range regions {
 		regionNames = append(regionNames, r.Name)
@@ -158,13 +93,15 @@
 	k.observations = append(k.observations, observations...)
 }
 
-// counted takes what the node has measured, and tells it by which contracts it counts.
+// exchangeObjectives takes the node's samples, and answers with the contracts if the node
+// measures by others.
 func (a *Agent) exchangeObjectives(report *agentapi.Report, response *agentapi.Response) {
 	if a.objectives == nil || a.Log == nil {
 		return
 	}
 	a.objectives.queueSamples(a.Clock(), report.Samples)
-	if view := a.Log.View(); view.State != nil && view.State.Contracts.Version != report.ContractsVersion {
+	view := a.Log.View()
+	if view.State != nil && view.State.Contracts.Version != report.ContractsVersion {
 		response.Contracts = contractList(view.State.Contracts)
 	}
 }
@@ -172,17 +109,11 @@
 func contractList(state slo.State) *agentapi.ContractList {
 	list := &agentapi.ContractList{Version: state.Version, Contracts: []agentapi.Contract{}}
 	for _, contract := range state.Contracts {
-		list.Contracts = append(list.Contracts, agentapi.Contract{Name: contract.Name, Priority: contract.Priority, MeasuresMessages: contract.ForMessages})
+		list.Contracts = append(list.Contracts, agentapi.Contract{
+			Name:             contract.Name,
+			Priority:         contract.Priority,
+			MeasuresMessages: contract.ForMessages,
+		})
 	}
 	return list
 }
-
-// present are the members that have not left, as the rooms take them.
-func (a *Agent) presentMembers() (members []zonestatus.Member) {
-	for _, m := range a.Gossip.Members() {
-		if m.Status != quota.Left {
-			members = append(members, zonestatus.Member{Name: m.Name, Zone: m.Zone, Alive: m.Status == quota.Alive})
-		}
-	}
-	return members
-}
--- a/internal/fleet/agent/objectives_leader.go
+++ b/internal/fleet/agent/objectives_leader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -12,11 +10,10 @@
 	"coralrelay/internal/fleet/slo"
 )
 
-// keep takes what was measured; the leader proposes what is to change. It looks once for
-// each part of time, and at once when zones are left or returned to, never before the last
-// proposal is decided and this member has its entry. How often a contract may move is the
-// decider's own matter.
-func (a *Agent) evaluateObjectives(ctx context.Context, now time.Duration, view replog.View, isLeader bool, proposals *sync.WaitGroup) {
+// evaluateObjectives takes what was measured; the leader proposes how traffic is allocated.
+// How often a contract's traffic may move is the controller's own matter.
+func (a *Agent) evaluateObjectives(ctx context.Context, now time.Duration, view replog.View, isLeader bool,
+	goroutines *sync.WaitGroup) {
 	keeper := a.objectives
 	if keeper == nil || keeper.aggregator == nil || view.State == nil {
 		return
@@ -29,49 +26,54 @@
 		keeper.observations = nil
 		return
 	}
-	scaledNow, zonesVersion := keeper.ScaledTime(now), view.State.Zones.Version
-	if len(contracts.Contracts) == 0 || scaledNow-keeper.evaluatedAt < keeper.Config.SampleInterval && scaledNow >= keeper.evaluatedAt && zonesVersion == keeper.zonesVersion {
+	scaledNow := keeper.ScaledTime(now)
+	if len(contracts.Contracts) == 0 || !keeper.isEvaluationDue(scaledNow, view.State.Zones.Version) {
 		return
 	}
-	select {
-	case keeper.proposalSlot <- struct{}{}:
-	default:
-		return
-	}
-	if view.State.Index < keeper.proposedIndex {
-		<-keeper.proposalSlot
+	if !keeper.acquireProposalSlot(view.State.Index) {
 		return
 	}
-	demand, _ := keeper.setupRates()
-	change, reason, due := keeper.controller.Evaluate(scaledNow, contracts, keeper.observations, regions, demand)
-	keeper.observations, keeper.evaluatedAt, keeper.zonesVersion = nil, scaledNow, zonesVersion
+	change, reason, due := keeper.evaluate(scaledNow, view, regions)
 	if !due {
 		<-keeper.proposalSlot
 		return
 	}
-	proposals.Go(func() {
+	goroutines.Go(func() {
 		defer func() { <-keeper.proposalSlot }()
-		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
-		defer cancel()
-		keeper.proposedIndex = max(keeper.proposedIndex, a.submitTrafficChange(ctx, scaledNow, change, reason))
+		index := a.propose(ctx, logentry.KindContracts, scaledNow, change, reason)
+		keeper.proposedIndex = max(keeper.proposedIndex, index)
 	})
 }
 
-// steered proposes an allocation, which is the fleet's own decision, and returns its index.
-func (a *Agent) submitTrafficChange(ctx context.Context, at time.Duration, change slo.Change, reason string) uint64 {
-	body, err := json.Marshal(change)
-	if err != nil {
-		slog.Error("fleet: promises", "err", err)
-		return 0
-	}
-	outcome, err := a.Log.Propose(ctx, logentry.Entry{Kind: logentry.KindContracts, ProposedBy: a.Name, ProposedAt: at.Milliseconds(), Reason: reason, Body: body})
-	switch {
-	case err != nil:
-		slog.Warn("fleet: promises: a step was not decided", "why", reason, "err", err)
-	case !outcome.Accepted:
-		slog.Warn("fleet: promises: a step was not taken", "why", reason, "index", outcome.Index, "reason", outcome.Reason)
+// isEvaluationDue reports whether to evaluate now: once for each interval, when the clock
+// was set back, and at once when the zones' status has changed.
+func (k *objectiveKeeper) isEvaluationDue(scaledNow time.Duration, zonesVersion uint64) bool {
+	intervalOver := scaledNow-k.evaluatedAt >= k.Config.SampleInterval
+	clockSetBack := scaledNow < k.evaluatedAt
+	return intervalOver || clockSetBack || zonesVersion != k.zonesVersion
+}
+
+// acquireProposalSlot reports whether an evaluation may begin: not before the last proposal
+// is decided and this member's log, at index, has its entry. The slot is the caller's then.
+func (k *objectiveKeeper) acquireProposalSlot(index uint64) bool {
+	select {
+	case k.proposalSlot <- struct{}{}:
 	default:
-		slog.Info("fleet: promises", "why", reason, "index", outcome.Index)
+		return false
 	}
-	return outcome.Index
+	if index < k.proposedIndex {
+		<-k.proposalSlot
+		return false
+	}
+	return true
+}
+
+// evaluate returns the change that the controller decides on, if one is due.
+func (k *objectiveKeeper) evaluate(scaledNow time.Duration, view replog.View, regions []slo.Region) (slo.Change, string, bool) {
+	change, reason, due := k.controller.Evaluate(scaledNow, view.State.Contracts, k.observations, regions,
+		k.setupRates().byContract)
+	k.observations = nil
+	k.evaluatedAt = scaledNow
+	k.zonesVersion = view.State.Zones.Version
+	return change, reason, due
 }
--- a/internal/fleet/agent/objectives_test.go
+++ b/internal/fleet/agent/objectives_test.go
@@ -54,7 +54,7 @@
 		k.merge(over, *s)
 		k.merge(over, *s)
 		k.closeIntervals(over+2*slo.DefaultConfig().SampleInterval, contracts, regions, members)
-		demand, _ := k.setupRates()
+		demand := k.setupRates().byContract
 		if len(k.observations) != tt.want || tt.want > 0 && demand["gold"] != 0.2 {
 			t.Errorf("%s: %+v, demand %v", name, k.observations, demand)
 		}
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/fleet/logentry"
@@ -13,18 +12,26 @@
 	"coralrelay/internal/fleet/slo"
 )
 
-// Outcome answers the asks "check" and "propose".
+// The methods of an operator's request, as they are on the wire.
+const (
+	methodState   = "state"   // what this member knows, for people
+	methodRecord  = "record"  // all of the replicated log's state
+	methodCheck   = "check"   // whether an entry would be accepted now
+	methodPropose = "propose" // have an entry appended
+)
+
+// ProposalOutcome answers the methods "check" and "propose".
 type ProposalOutcome struct {
 	Outcome logentry.Outcome `json:"outcome"`
 }
 
-// Operator answers an operator's ask: "state" for people, "record" for all that the record
-// holds, "check" for whether an entry would be taken now, "propose" to have it taken.
+// HandleOperator answers an operator's request: an agentapi.State to "state", the
+// *logentry.State to "record", and a ProposalOutcome to "check" and "propose".
 func (a *Agent) HandleOperator(ctx context.Context, request agentapi.OperatorRequest) (any, error) {
 	switch request.Method {
-	case "state":
+	case methodState:
 		return a.State(), nil
-	case "record", "check", "propose":
+	case methodRecord, methodCheck, methodPropose:
 		if a.Log == nil {
 			return nil, fmt.Errorf("fleet.record: %s", a.NoLogReason)
 		}
@@ -32,27 +39,31 @@
 		return nil, fmt.Errorf("ask: %.40q is none of state, record, check, propose", request.Method)
 	}
 	state := a.Log.View().State
-	if request.Method == "record" {
+	if request.Method == methodRecord {
 		return state, nil
 	}
-	if len(request.Entry) > logentry.MaxSize {
-		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(request.Entry), logentry.MaxSize)
-	}
-	var entry logentry.Entry
-	if err := logentry.UnmarshalStrict(request.Entry, &entry); err != nil {
-		return nil, fmt.Errorf("entry: %w", err)
-	}
-	if err := checkOperatorEntry(&entry); err != nil {
+	entry, err := decodeOperatorEntry(request.Entry)
+	if err != nil {
 		return nil, err
 	}
 	entry.ProposedBy = a.Name
-	if request.Method == "propose" {
-		outcome, err := a.Log.Propose(ctx, entry)
-		if errors.Is(err, replog.ErrOutcomeUnknown) {
-			err = &agentapi.CallError{Message: err.Error(), OutcomeUnknown: true}
-		}
-		return ProposalOutcome{outcome}, err
+	if request.Method == methodPropose {
+		return a.proposeForOperator(ctx, entry)
+	}
+	return checkEntry(state, entry)
+}
+
+// proposeForOperator proposes an operator's entry. The outcome is returned beside the error.
+func (a *Agent) proposeForOperator(ctx context.Context, entry logentry.Entry) (any, error) {
+	outcome, err := a.Log.Propose(ctx, entry)
+	if errors.Is(err, replog.ErrOutcomeUnknown) {
+		err = &agentapi.CallError{Message: err.Error(), OutcomeUnknown: true}
 	}
+	return ProposalOutcome{outcome}, err
+}
+
+// checkEntry returns what would become of an entry now.
+func checkEntry(state *logentry.State, entry logentry.Entry) (any, error) {
 	raw, err := json.Marshal(entry)
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
@@ -64,9 +75,20 @@
 	return ProposalOutcome{outcome}, nil
 }
 
-// operators tells whether an entry can be an operator's. Postures of zones and allocations are
-// the leader's own decisions, which never come by a port: whoever reaches it could have the
-// fleet leave a zone.
+// decodeOperatorEntry decodes an entry that an operator may propose.
+func decodeOperatorEntry(raw json.RawMessage) (entry logentry.Entry, err error) {
+	if len(raw) > logentry.MaxSize {
+		return entry, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), logentry.MaxSize)
+	}
+	if err := logentry.UnmarshalStrict(raw, &entry); err != nil {
+		return entry, fmt.Errorf("entry: %w", err)
+	}
+	return entry, checkOperatorEntry(&entry)
+}
+
+// checkOperatorEntry returns an error for an entry that can't be an operator's. The status of
+// zones and the allocations of contracts are the leader's own decisions, which never come by
+// a port: whoever reaches it could have the fleet evacuate a zone.
 func checkOperatorEntry(entry *logentry.Entry) error {
 	switch {
 	case entry.Kind == logentry.KindZones:
@@ -85,34 +107,3 @@
 	}
 	return nil
 }
-
-// State is what this member knows and tells its node.
-func (a *Agent) State() agentapi.State {
-	s := agentapi.State{Name: a.Name, Zone: a.Zone, Log: "on", LastContactMillis: -1, ZoneStatuses: []agentapi.ZoneStatus{}, ZoneLimits: []agentapi.ZoneLimit{}}
-	if a.Log == nil {
-		s.Log = a.NoLogReason
-	} else {
-		v := a.Log.View()
-		s.Role, s.Leader, s.WithinLease, s.DiskError = v.Role, v.Leader, v.WithinLease, v.DiskError
-		if !v.ConfirmedAt.IsZero() {
-			s.LastContactMillis = time.Since(v.ConfirmedAt).Milliseconds()
-		}
-		if v.State != nil {
-			s.Index, s.Hash, s.ZonesVersion = v.State.Index, fmt.Sprintf("%x", v.State.Hash[:]), v.State.Zones.Version
-			for _, z := range v.State.Zones.Pairs {
-				s.ZoneStatuses = append(s.ZoneStatuses, agentapi.ZoneStatus{ObservingZone: z.From, Zone: z.To, Status: z.Status.String(), Share: z.Share,
-					Step: z.Step, Rate: z.Rate, ChangedAtMillis: z.ChangedAt, RetryAtMillis: z.HeldUntil, Failures: z.Failures})
-			}
-		}
-	}
-	a.mu.Lock()
-	s.RejectedShare = a.decision.ShedFraction
-	for _, b := range a.decision.ZoneLimits {
-		s.ZoneLimits = append(s.ZoneLimits, agentapi.ZoneLimit(b))
-	}
-	a.mu.Unlock()
-	for _, m := range a.Gossip.Members() {
-		s.Members = append(s.Members, agentapi.Member{Name: m.Name, Zone: m.Zone, Status: m.Status.String(), LogAddr: m.ReplogAddress, Index: m.LogIndex, ReportedAtMillis: m.ReportedAtMs})
-	}
-	return s
-}
--- a/internal/fleet/agent/regions.go
+++ b/internal/fleet/agent/regions.go
@@ -4,141 +4,126 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// part is how many set-ups were counted in a part of time that is over.
-type intervalCounts struct {
-	interval             int64
-	byContract, byRegion map[string]float64
-}
-
-// count adds up what was seen. A part in which nobody measured anything counts as well, once
-// a later one has come.
-func (k *objectiveKeeper) countSetups(now time.Duration, observations []slo.Observation) {
-	for _, observation := range observations {
-		if n := len(k.intervals); n == 0 || k.intervals[n-1].interval < observation.Interval {
-			k.intervals = append(k.intervals, intervalCounts{observation.Interval, map[string]float64{}, map[string]float64{}})
-		}
-		counts, setups := &k.intervals[len(k.intervals)-1], float64(observation.Histogram.Count())
-		counts.byContract[observation.Contract] += setups
-		counts.byRegion[observation.Region] += setups
-	}
-	last := int64((k.ScaledTime(now)-k.Config.LateSampleTimeout)/k.Config.SampleInterval) - 1
-	k.intervals = slices.DeleteFunc(k.intervals, func(counts intervalCounts) bool { return counts.interval <= last-int64(k.Config.EvidenceIntervals) })
-}
+// minOtherTraffic is the fraction of a region's capacity below which it is taken to serve no
+// other traffic: its load and the counted set-ups are of different times.
+const minOtherTraffic = 0.1
 
-// demand is set-ups a second by contract and by region, of the Config's seconds.
-func (k *objectiveKeeper) setupRates() (byContract, byRegion map[string]float64) {
-	byContract, byRegion = map[string]float64{}, map[string]float64{}
-	if len(k.intervals) == 0 {
-		return byContract, byRegion
-	}
-	seconds := float64(k.intervals[len(k.intervals)-1].interval-k.intervals[0].interval+1) * k.Config.SampleInterval.Seconds()
-	for _, counts := range k.intervals {
-		for name, n := range counts.byContract {
-			byContract[name] += n / seconds
-		}
-		for name, n := range counts.byRegion {
-			byRegion[name] += n / seconds
-		}
-	}
-	return byContract, byRegion
+// zoneObservations is what members together observe of a zone.
+type zoneObservations struct {
+	warmEndpoints []float64 // one for each member; those that warm up count in part
+	loads         []float64 // mean load, of members that know it
 }
 
-// sight is what members together see of a zone.
-type zoneObservations struct{ warmEndpoints, loads []float64 }
-
-// little is the part of what a region bears below which it serves nobody else: its load and
-// what was counted are of two times.
-const minOtherTraffic = 0.1
-
-// regions says what each region bears and which part of it postures leave, by what members
-// see. Regions are named sets of zones, and zones that are in none.
-func (k *objectiveKeeper) regions(state zonestatus.State, reports []zonestatus.Report, members []zonestatus.Member) []slo.Region {
-	observingZones, zones := map[string]bool{k.zone: true}, map[string]*zoneObservations{}
-	alive := map[string]bool{k.name: true}
+// regions returns the capacity of each region and the part of it that the zones' status
+// leaves usable, by members' reports. Regions are named sets of zones, and zones that are in
+// none.
+func (k *objectiveKeeper) regions(state zonestatus.State, reports []zonestatus.Report,
+	members []zonestatus.Member) []slo.Region {
+	observingZones, alive := map[string]bool{k.zone: true}, map[string]bool{k.name: true}
 	for _, m := range members {
 		if m.Alive {
 			observingZones[m.Zone], alive[m.Name] = true, true
 		}
 	}
-	for _, report := range reports {
-		for _, z := range report.Observations {
-			if !alive[report.Member] {
-				break
-			}
-			if zones[z.Zone] == nil {
-				zones[z.Zone] = &zoneObservations{}
-			}
-			warm := float64(z.Endpoints-z.WarmingUp) + float64(z.WarmingUp)*k.Zones.ColdCapacityFraction
-			zones[z.Zone].warmEndpoints = append(zones[z.Zone].warmEndpoints, warm)
-			if z.Load >= 0 {
-				zones[z.Zone].loads = append(zones[z.Zone].loads, z.Load)
-			}
-		}
-	}
-	shares, rates := strictestLimits(state, observingZones)
-	_, setupRates := k.setupRates()
+	zones := k.combineReports(reports, alive)
+	limits := findStrictestLimits(state, observingZones)
 	byName := map[string]*slo.Region{}
-	for _, name := range slices.Sorted(maps.Keys(zones)) {
-		z, region := zones[name], cmp.Or(k.Zones.RegionOf(name), name)
-		capacity := median(z.warmEndpoints) * k.Zones.EndpointSetupRate / float64(max(k.TimeScale, 1))
-		usable, load := 1.0, -1.0
-		if share, bounded := shares[name]; bounded {
-			usable = share
-		}
-		if maxRate := rates[name] / float64(max(k.TimeScale, 1)); maxRate > 0 && maxRate < usable*capacity {
-			usable = maxRate / capacity
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		name := cmp.Or(k.Zones.RegionOf(zone), zone)
+		if byName[name] == nil {
+			byName[name] = &slo.Region{Name: name, Load: -1}
 		}
-		if len(z.loads) > 0 {
-			load = median(z.loads)
+		k.addZone(byName[name], zone, zones[zone], limits)
+	}
+	measured := k.setupRates().byRegion
+	var all []slo.Region
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		region := byName[name]
+		if other := region.Load*region.Capacity - measured[name]; other > minOtherTraffic*region.Capacity {
+			region.OtherTraffic = other
 		}
-		r := byName[region]
-		if r == nil {
-			r = &slo.Region{Name: region, Load: -1}
-			byName[region] = r
+		all = append(all, *region)
+	}
+	return all
+}
+
+// combineReports returns what the members that are alive observe of each zone.
+func (k *objectiveKeeper) combineReports(reports []zonestatus.Report, alive map[string]bool) map[string]*zoneObservations {
+	zones := map[string]*zoneObservations{}
+	for _, report := range reports {
+		if !alive[report.Member] {
+			continue
 		}
-		if all := r.Capacity + capacity; all > 0 {
-			r.UsableFraction = (r.UsableFraction*r.Capacity + usable*capacity) / all
-			if load >= 0 {
-				r.Load = (max(r.Load, 0)*r.Capacity + load*capacity) / all
+		for _, observation := range report.Observations {
+			zone := zones[observation.Zone]
+			if zone == nil {
+				zone = &zoneObservations{}
+				zones[observation.Zone] = zone
+			}
+			warm := float64(observation.Endpoints-observation.WarmingUp) +
+				float64(observation.WarmingUp)*k.Zones.ColdCapacityFraction
+			zone.warmEndpoints = append(zone.warmEndpoints, warm)
+			if observation.Load >= 0 {
+				zone.loads = append(zone.loads, observation.Load)
 			}
 		}
-		r.Capacity += capacity
 	}
-	var all []slo.Region
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		r := byName[name]
-		if other := r.Load*r.Capacity - setupRates[name]; other > minOtherTraffic*r.Capacity {
-			r.OtherTraffic = other
+	return zones
+}
+
+// addZone adds a zone to its region: capacities add up, the rest is the mean by capacity.
+func (k *objectiveKeeper) addZone(region *slo.Region, zone string, observed *zoneObservations, limits strictestLimits) {
+	timeScale := float64(max(k.TimeScale, 1))
+	capacity := median(observed.warmEndpoints) * k.Zones.EndpointSetupRate / timeScale
+	usable, load := 1.0, -1.0
+	if share, limited := limits.shares[zone]; limited {
+		usable = share
+	}
+	if maxRate := limits.rates[zone] / timeScale; maxRate > 0 && maxRate < usable*capacity {
+		usable = maxRate / capacity
+	}
+	if len(observed.loads) > 0 {
+		load = median(observed.loads)
+	}
+	if all := region.Capacity + capacity; all > 0 {
+		region.UsableFraction = (region.UsableFraction*region.Capacity + usable*capacity) / all
+		if load >= 0 {
+			region.Load = (max(region.Load, 0)*region.Capacity + load*capacity) / all
 		}
-		all = append(all, *r)
 	}
-	return all
+	region.Capacity += capacity
+}
+
+// strictestLimits are the least share and rate, by zone, at which any zone with members may
+// send traffic there. A contract's traffic is allocated for all nodes alike, so it goes only
+// where all of them may send it.
+type strictestLimits struct {
+	shares map[string]float64 // 0 to 1; a zone that is not named has no limit
+	rates  map[string]float64 // connection set-ups a second; a zone that is not named has no limit
 }
 
-// postures are the least share and rate at which any zone with members may use another: a
-// contract is steered for all nodes alike, so it goes only where all of them may.
-func strictestLimits(state zonestatus.State, observingZones map[string]bool) (shares, rates map[string]float64) {
-	shares, rates = map[string]float64{}, map[string]float64{}
+func findStrictestLimits(state zonestatus.State, observingZones map[string]bool) strictestLimits {
+	strictest := strictestLimits{shares: map[string]float64{}, rates: map[string]float64{}}
 	for _, observingZone := range slices.Sorted(maps.Keys(observingZones)) {
 		for _, limit := range state.TrafficLimits(observingZone) {
-			if smallest, ok := shares[limit.Zone]; !ok || limit.Share < smallest {
-				shares[limit.Zone] = limit.Share
+			if share, ok := strictest.shares[limit.Zone]; !ok || limit.Share < share {
+				strictest.shares[limit.Zone] = limit.Share
 			}
-			if limit.Rate > 0 && (rates[limit.Zone] == 0 || limit.Rate < rates[limit.Zone]) {
-				rates[limit.Zone] = limit.Rate
+			if rate := strictest.rates[limit.Zone]; limit.Rate > 0 && (rate == 0 || limit.Rate < rate) {
+				strictest.rates[limit.Zone] = limit.Rate
 			}
 		}
 	}
-	return shares, rates
+	return strictest
 }
 
-// median is the lower one, so that few who say too much change nothing.
+// median returns the lower median, so that a few members that report too much change nothing.
+// It sorts values.
 func median(values []float64) float64 {
 	if len(values) == 0 {
 		return 0
--- a/internal/fleet/agent/routetables.go
+++ b/internal/fleet/agent/routetables.go
@@ -12,28 +12,45 @@
 )
 
 const (
-	// mostTables are kept, so that a node that has one of them is told what has changed.
+	// maxKeptTables are kept, so that a node that has one of them is sent the changes only.
 	maxKeptTables = 4
-	// recount is the least time between two tables that differ in the number of next hops.
+	// endpointChangeInterval is the least time between two tables that differ only in the
+	// number of ready endpoints.
 	endpointChangeInterval = 2 * time.Second
 )
 
-// tables are what the node is told of routes. Their index is the time at which they were
-// made, so that it is new after each change and after each start of the agent.
+// routeTables are the route tables for the node. A table's index is the time at which it was
+// built, so that it is new after each change and after each start of the agent.
 type routeTables struct {
 	mu             sync.Mutex
-	kept           []route.Update // the last few, whole, the latest last
-	versions       [3]uint64      // versions that the latest is of: accounts, contracts, allocations
-	builtAt        time.Duration
-	readyEndpoints map[string]int // next hops by zone, as the node says
-	nodeHasTable   bool           // the node has a table
-	update         struct {       // as it was cut last
-		baseIndex, index uint64
-		parts            []route.Update
+	kept           []route.Update // the last few, complete, the latest last
+	versions       tableVersions  // of the latest
+	builtAt        time.Duration  // the latest
+	readyEndpoints map[string]int // by zone, as the node reports
+	nodeHasTable   bool
+	update         tableUpdate // the last that was cut into parts
+}
+
+// tableVersions are the versions of the log's state that a table is built of.
+type tableVersions struct {
+	accounts, contracts, allocations uint64
+}
+
+// tableUpdate is what leads from one table to another, in parts.
+type tableUpdate struct {
+	baseIndex, index uint64 // baseIndex is 0 for a complete table
+	parts            []route.Update
+}
+
+// latest returns the latest table, with index 0 if there is none. The lock is held.
+func (t *routeTables) latest() route.Update {
+	if len(t.kept) == 0 {
+		return route.Update{}
 	}
+	return t.kept[len(t.kept)-1]
 }
 
-// hear takes how many next hops the node has in each zone, and what table.
+// updateNodeState takes how many endpoints the node has in each zone, and which table.
 func (t *routeTables) updateNodeState(report *agentapi.Report) {
 	ready := map[string]int{}
 	for _, server := range report.Servers {
@@ -47,45 +64,72 @@
 	}
 }
 
-// renew makes a new table where the record's state asks for it.
+// rebuild builds a new table if the log's state asks for it. Only Run calls it.
 func (t *routeTables) rebuild(now time.Duration, state *logentry.State) {
 	if state == nil {
 		return
 	}
+	versions := tableVersions{
+		accounts:    state.Accounts.Version,
+		contracts:   state.Contracts.Version,
+		allocations: state.Contracts.AllocationVersion,
+	}
 	t.mu.Lock()
-	ready, last := t.readyEndpoints, route.Update{}
-	if len(t.kept) > 0 {
-		last = t.kept[len(t.kept)-1]
-	}
-	versions := [3]uint64{state.Accounts.Version, state.Contracts.Version, state.Contracts.AllocationVersion}
-	unchanged := versions == t.versions && last.Index != 0
-	if noRoutes := len(state.Accounts.Routes) == 0 && len(last.Set) == 0 && (last.Index != 0 || !t.nodeHasTable); noRoutes ||
-		unchanged && (maps.Equal(ready, last.ReadyEndpoints) || now < t.builtAt+endpointChangeInterval) {
-		t.mu.Unlock()
+	latest, ready := t.latest(), t.readyEndpoints
+	isNeeded := t.isRebuildNeeded(now, state, versions)
+	t.mu.Unlock()
+	if !isNeeded {
 		return
 	}
-	t.mu.Unlock()
-	table := snapshot.Build(max(uint64(now), last.Index+1), state.Accounts, state.Contracts, state.Genesis.Zones.Regions, ready)
+	index := max(uint64(now), latest.Index+1)
+	table := snapshot.Build(index, state.Accounts, state.Contracts, state.Genesis.Zones.Regions, ready)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.kept) == maxKeptTables {
 		t.kept = t.kept[1:]
 	}
-	t.kept = append(t.kept[:len(t.kept):len(t.kept)], table)
+	t.kept = append(t.kept[:len(t.kept):len(t.kept)], table) // a new array, which frees the dropped one
 	t.versions, t.builtAt = versions, now
 }
 
-// tell puts a part of what is news to the node into its answer.
+// isRebuildNeeded reports whether the latest table does not do any more. The lock is held.
+func (t *routeTables) isRebuildNeeded(now time.Duration, state *logentry.State, versions tableVersions) bool {
+	latest := t.latest()
+	hasTable := latest.Index != 0
+	if len(state.Accounts.Routes) == 0 && len(latest.Set) == 0 && (hasTable || !t.nodeHasTable) {
+		return false // there were no routes, and there are none
+	}
+	if versions != t.versions || !hasTable {
+		return true
+	}
+	sameEndpoints := maps.Equal(t.readyEndpoints, latest.ReadyEndpoints)
+	return !sameEndpoints && now >= t.builtAt+endpointChangeInterval
+}
+
+// respond adds a part of the latest table to the node's answer, if the node does not have it.
 func (t *routeTables) respond(report *agentapi.Report, response *agentapi.Response) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.kept) == 0 || t.kept[len(t.kept)-1].Index == report.TableIndex {
+	latest := t.latest()
+	if len(t.kept) == 0 || latest.Index == report.TableIndex {
 		return
 	}
-	latest := t.kept[len(t.kept)-1]
+	t.cutUpdate(latest, report.TableIndex)
+	part := 0
+	if report.PartialTableIndex == latest.Index && report.TablePartsReceived < len(t.update.parts) {
+		part = report.TablePartsReceived
+	}
+	response.Table = &t.update.parts[part]
+	response.TableParts = len(t.update.parts)
+	response.More = part+1 < response.TableParts
+}
+
+// cutUpdate cuts what leads from the node's table, or from none if it is not kept any more,
+// to the latest into parts, unless that was done before. The lock is held.
+func (t *routeTables) cutUpdate(latest route.Update, nodeTableIndex uint64) {
 	var base *route.Update
 	for i := range t.kept {
-		if t.kept[i].Index == report.TableIndex {
+		if t.kept[i].Index == nodeTableIndex {
 			base = &t.kept[i]
 		}
 	}
@@ -93,17 +137,16 @@
 	if base != nil {
 		baseIndex = base.Index
 	}
-	if update := &t.update; update.index != latest.Index || update.baseIndex != baseIndex {
-		table := latest
-		if base != nil {
-			table = route.Diff(*base, latest)
-		}
-		update.baseIndex, update.index, update.parts = baseIndex, latest.Index, agentapi.SplitTable(table, agentapi.MaxPartBytes)
+	if t.update.index == latest.Index && t.update.baseIndex == baseIndex {
+		return
 	}
-	part := 0
-	if report.PartialTableIndex == latest.Index && report.TablePartsReceived < len(t.update.parts) {
-		part = report.TablePartsReceived
+	table := latest
+	if base != nil {
+		table = route.Diff(*base, latest)
+	}
+	t.update = tableUpdate{
+		baseIndex: baseIndex,
+		index:     latest.Index,
+		parts:     agentapi.SplitTable(table, agentapi.MaxPartBytes),
 	}
-	response.Table, response.TableParts = &t.update.parts[part], len(t.update.parts)
-	response.More = part+1 < response.TableParts
 }
