--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -1,5 +1,9 @@
 // Command coralagent is the agent beside one node: it gossips with the agents of the other
 // nodes and tells its node what it may spend of what the whole fleet keeps.
+//
+// Goroutines: the gossip member runs on the main one; the replica, the agent and its API
+// have one each. They end when a signal arrives, or when the gossip or the API fails, and
+// run returns after all of them.
 package main
 
 import (
@@ -8,7 +12,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,39 +26,37 @@
 	"coralrelay/internal/operatorconfig"
 )
 
+// component is the attribute of the command's log lines.
+const component = "agent"
+
+// command has the flags: kong makes their names from the fields' names.
 type command struct {
 	Config      string        `required:"" placeholder:"FILE" help:"The operator's own file, CUE or JSON, that the node has too."`
 	ClockOffset time.Duration `hidden:"" help:"How far this agent's clock is ahead of the machine's, for rehearsals."`
 }
 
+const description = "The agent beside one node, through which nodes share limits and verdicts. " +
+	"docs/operate/fleet-limits.md has its keys."
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	logging.Setup(os.Stderr, false)
 	var flags command
-	kong.Parse(&flags, kong.Name("coralagent"),
-		kong.Description("The agent beside one node, through which nodes share limits and verdicts. docs/operate/fleet-limits.md has its keys."))
+	kong.Parse(&flags, kong.Name("coralagent"), kong.Description(description))
 	if err := flags.run(ctx); err != nil {
-		slog.Error("coralagent", "err", err)
+		slog.Error("agent failed", "component", component, "error", err)
 		os.Exit(1)
 	}
 }
 
+// run serves until ctx ends.
 func (c *command) run(ctx context.Context) error {
-	operatorConfig, err := operatorconfig.Load(c.Config)
+	fleet, err := c.loadConfig()
 	if err != nil {
 		return err
 	}
-	logging.Setup(os.Stderr, operatorConfig.Log.Format == "json")
-	if err := logging.SetLevel(operatorConfig.Log.Level); err != nil {
-		return err
-	}
-	fleet := operatorConfig.Fleet
-	if fleet.Agent == "" {
-		return operatorconfig.KeyError{Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
-	}
-	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) + c.ClockOffset }
-	member := newMember(fleet, clock)
+	member := newMember(fleet, c.clock)
 	listener, err := net.Listen("tcp", fleet.Agent)
 	if err != nil {
 		return err
@@ -64,48 +65,75 @@
 	var goroutines sync.WaitGroup
 	defer goroutines.Wait()
 	defer cancel()
-	options := agent.Options{Name: fleet.Name, Zone: fleet.Zone, Gossip: member, NoLogReason: "off", LogLease: fleet.ReplicatedLog.Lease.Duration, Clock: clock,
-		ClockOffset: c.ClockOffset, AlwaysIsolated: mutation.Enabled("together"), ZoneGuards: zoneGuards()}
-	if fleet.Zones.Enabled {
-		zones := fleet.Zones.Config()
-		options.Zones = &zones
-	}
-	options.SLO = sloOptions(fleet)
+	options := c.agentOptions(fleet, member)
 	if fleet.ReplicatedLog.IsEnabled() {
-		leaseConfig := fleet.AllocationConfig()
-		options.Accounts = &leaseConfig
 		if err := startReplica(ctx, &goroutines, fleet, &options); err != nil {
 			// The node beside this agent is served all the same.
-			slog.Error("fleet: the record is not kept, this member acts on what its node sees", "err", err)
+			slog.Error("replicated log unavailable, the agent acts on its node's observations",
+				"component", component, "error", err)
 			options.NoLogReason = err.Error()
 		}
 	}
 	a := agent.New(options)
 	goroutines.Go(func() { a.Run(ctx) })
-	serveErr := make(chan error, 1)
+	served := make(chan error, 1)
 	go func() {
-		defer cancel() // without it the node can't ask
-		serveErr <- agentapi.Serve(ctx, listener, a)
+		defer cancel() // without the API the node can't ask
+		served <- agentapi.Serve(ctx, listener, a)
 	}()
-	slog.Info("fleet agent", "name", fleet.Name, "bind", fleet.Bind, "agent", fleet.Agent, "record", fleet.ReplicatedLog.IsEnabled(), "zones", fleet.Zones.Enabled)
-	err = member.Run(ctx, gossip.Config{BindAddress: fleet.Bind, AdvertiseAddress: fleet.Advertise, Peers: fleet.Peers, KeyFile: fleet.Key,
-		Unencrypted: mutation.Enabled("open"), Interval: fleet.Interval.Duration, LogOutput: libraryLog{}})
+	slog.Info("serving", "component", component, "name", fleet.Name, "gossip_address", fleet.Bind,
+		"api_address", fleet.Agent, "replicated_log", fleet.ReplicatedLog.IsEnabled(), "zones", fleet.Zones.Enabled)
+	err = member.Run(ctx, gossipConfig(fleet))
 	cancel()
-	if serveFailure := <-serveErr; err == nil {
-		err = serveFailure
+	if serveErr := <-served; err == nil {
+		err = serveErr
 	}
 	return err
 }
 
-// toLog takes memberlist's and raft's lines, which begin with their level.
-type libraryLog struct{}
+// loadConfig reads the operator's file and sets logging up as it says.
+func (c *command) loadConfig() (operatorconfig.Fleet, error) {
+	config, err := operatorconfig.Load(c.Config)
+	if err != nil {
+		return operatorconfig.Fleet{}, err
+	}
+	logging.Setup(os.Stderr, config.Log.Format == "json")
+	if err := logging.SetLevel(config.Log.Level); err != nil {
+		return operatorconfig.Fleet{}, err
+	}
+	if config.Fleet.Agent == "" {
+		return operatorconfig.Fleet{}, operatorconfig.KeyError{
+			Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
+	}
+	return config.Fleet, nil
+}
+
+// clock returns Unix time, as this agent has it.
+func (c *command) clock() time.Duration {
+	return time.Duration(time.Now().UnixNano()) + c.ClockOffset
+}
 
-func (libraryLog) Write(b []byte) (int, error) {
-	text := strings.TrimSpace(string(b))
-	level := slog.LevelDebug
-	if strings.HasPrefix(text, "[ERR") || strings.HasPrefix(text, "[WARN]") {
-		level = slog.LevelInfo // a peer that is gone is no fault of this one
+// agentOptions returns the agent's options without a replicated log.
+func (c *command) agentOptions(fleet operatorconfig.Fleet, member *gossip.Member) agent.Options {
+	options := agent.Options{
+		Name:           fleet.Name,
+		Zone:           fleet.Zone,
+		Gossip:         member,
+		NoLogReason:    "off",
+		LogLease:       fleet.ReplicatedLog.Lease.Duration,
+		Clock:          c.clock,
+		ClockOffset:    c.ClockOffset,
+		AlwaysIsolated: mutation.Enabled("together"),
+		ZoneGuards:     zoneGuards(),
+		SLO:            sloOptions(fleet),
+	}
+	if fleet.Zones.Enabled {
+		zones := fleet.Zones.Config()
+		options.Zones = &zones
+	}
+	if fleet.ReplicatedLog.IsEnabled() {
+		leaseConfig := fleet.AllocationConfig()
+		options.Accounts = &leaseConfig
 	}
-	slog.Log(context.Background(), level, text)
-	return len(b), nil
+	return options
 }
--- /dev/null
+++ b/cmd/coralagent/member.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"time"
+
+	"coralrelay/internal/fleet/gossip"
+	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/mutation"
+	"coralrelay/internal/operatorconfig"
+)
+
+// newMember returns this agent's member of the gossip, which does not run yet.
+func newMember(fleet operatorconfig.Fleet, clock func() time.Duration) *gossip.Member {
+	config := quota.Config{
+		Epoch:              fleet.Epoch.Duration,
+		LeaseTimeout:       fleet.Hold.Duration,
+		ReportTTL:          fleet.Fresh.Duration,
+		RetryRatio:         fleet.Retries,
+		MaxOutlierFraction: fleet.Shun,
+	}
+	member := gossip.NewMember(fleet.Name, config, quotaGuards(), clock)
+	member.Zone = fleet.Zone
+	if fleet.ReplicatedLog.IsEnabled() {
+		member.ReplogAddress = fleet.ReplicatedLog.AdvertisedAddr()
+	}
+	return member
+}
+
+// gossipConfig returns where and how the member gossips.
+func gossipConfig(fleet operatorconfig.Fleet) gossip.Config {
+	return gossip.Config{
+		BindAddress:      fleet.Bind,
+		AdvertiseAddress: fleet.Advertise,
+		Peers:            fleet.Peers,
+		KeyFile:          fleet.Key,
+		Unencrypted:      mutation.Enabled("open"),
+		Interval:         fleet.Interval.Duration,
+		LogOutput:        libraryLog{},
+	}
+}
