agent: tests share set-up, fakes in files of their own

fakelog_test.go and apiclient_test.go are split off; polling as the node, asking as an operator and running the agent stood twice and are one.

--- a/internal/fleet/agent/objectives.go
+++ b/internal/fleet/agent/objectives.go
@@ -13,12 +13,14 @@
 
 // SLOOptions say how an agent takes part in keeping contracts on response times.
 type SLOOptions struct {
-	Config     slo.Config
-	TimeScale  int                                    // how many times faster the Config's time passes; 1 but for rehearsals
-	ScaledTime func(unix time.Duration) time.Duration // the Config's time
-	Zones      zonestatus.Config                      // regions, and the capacity of a warm endpoint
-	Voters     []string                               // members that may lead
-	Guards     slo.Guards                             // guards that a mutation disables
+	Config slo.Config
+	// TimeScale is how many times faster the Config's time passes; 1 but for rehearsals.
+	TimeScale int
+	// ScaledTime returns the Config's time at a Unix time.
+	ScaledTime func(unix time.Duration) time.Duration
+	Zones      zonestatus.Config // regions, and the capacity of a warm endpoint
+	Voters     []string          // members that may lead
+	Guards     slo.Guards        // guards that a mutation disables
 }
 
 // noContractsVersion is the version of contracts that were not set yet.
--- a/internal/fleet/agent/objectives_leader.go
+++ b/internal/fleet/agent/objectives_leader.go
@@ -69,8 +69,9 @@
 }
 
 // evaluate returns the change that the controller decides on, if one is due.
-func (k *objectiveKeeper) evaluate(scaledNow time.Duration, view replog.View, regions []slo.Region) (slo.Change, string, bool) {
-	change, reason, due := k.controller.Evaluate(scaledNow, view.State.Contracts, k.observations, regions,
+func (k *objectiveKeeper) evaluate(scaledNow time.Duration, view replog.View,
+	regions []slo.Region) (change slo.Change, reason string, due bool) {
+	change, reason, due = k.controller.Evaluate(scaledNow, view.State.Contracts, k.observations, regions,
 		k.setupRates().byContract)
 	k.observations = nil
 	k.evaluatedAt = scaledNow
--- a/internal/fleet/agent/regions.go
+++ b/internal/fleet/agent/regions.go
@@ -53,7 +53,8 @@
 }
 
 // combineReports returns what the members that are alive observe of each zone.
-func (k *objectiveKeeper) combineReports(reports []zonestatus.Report, alive map[string]bool) map[string]*zoneObservations {
+func (k *objectiveKeeper) combineReports(reports []zonestatus.Report,
+	alive map[string]bool) map[string]*zoneObservations {
 	zones := map[string]*zoneObservations{}
 	for _, report := range reports {
 		if !alive[report.Member] {
--- a/internal/fleet/agent/testfleet_test.go
+++ b/internal/fleet/agent/testfleet_test.go
@@ -1,14 +1,13 @@
 package agent
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"net"
-	"sync"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,94 +17,51 @@
 	"coralrelay/internal/fleet/gossip"
 	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/fleet/quota"
-	"coralrelay/internal/fleet/replog"
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// ledger is a record of one voter without sockets: the real state and rules, committed
-// after 20 ms.
-type fakeLog struct {
-	mu         sync.Mutex
-	view       replog.View
-	changed    chan struct{}
-	blocked    bool // proposals are not decided
-	pending    int  // proposals under way
-	maxPending int  // at once
-}
-
-func newFakeLog(t *testing.T, g logentry.Genesis) *fakeLog {
-	s, err := logentry.NewState(g)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &fakeLog{view: replog.View{State: s, Role: "leader", Leader: "n1"}, changed: make(chan struct{})}
-}
+// testZones are the zones of the agent, n1, and of the other members, n2 to n6, in order.
+var testZones = []string{"a", "a", "b", "b", "c", "c"}
 
-func (l *fakeLog) View() replog.View {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.view
-}
-
-func (l *fakeLog) Changed() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.changed
-}
-
-func (l *fakeLog) change(f func(v *replog.View)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(&l.view)
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
-func (l *fakeLog) IsLeader() bool { return l.View().WithinLease }
-
-func (l *fakeLog) Propose(ctx context.Context, e logentry.Entry) (o logentry.Outcome, err error) {
-	l.mu.Lock()
-	l.pending++
-	l.maxPending = max(l.maxPending, l.pending)
-	stuck := l.blocked
-	l.mu.Unlock()
-	defer func() { l.mu.Lock(); l.pending--; l.mu.Unlock() }()
-	if stuck {
-		<-ctx.Done()
-		return o, fmt.Errorf("%w: %w", replog.ErrOutcomeUnknown, ctx.Err())
-	}
-	time.Sleep(20 * time.Millisecond)
-	raw, err := json.Marshal(e)
-	if err != nil {
-		return o, err
-	}
-	l.change(func(v *replog.View) { v.State, o = v.State.Apply(raw) })
-	return o, nil
-}
-
-// world is an agent with its node and five other members, two in each of three zones.
+// testFleet is an agent with its node and five other members, two in each of three zones.
 type testFleet struct {
 	agent        *Agent
 	log          *fakeLog
-	failureShare map[string]float64 // share of attempts into a zone that fail, as all see it
+	failureShare map[string]float64 // share of attempts into a zone that fail, as all members observe it
 	halfEpoch    int64
 	nodeClient   *apiClient
 	dial         func() net.Conn
 	startedAt    time.Time
-	transcript   bytes.Buffer // the transcript
+	transcript   bytes.Buffer
 }
 
 func newTestFleet(t *testing.T, ctx context.Context) *testFleet {
-	cfg := zonestatus.DefaultConfig()
-	w := &testFleet{log: newFakeLog(t, logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: cfg}), failureShare: map[string]float64{}, startedAt: time.Now()}
+	zones := zonestatus.DefaultConfig()
+	genesis := logentry.Genesis{RootKey: rootKey.Public().(ed25519.PublicKey), Zones: zones}
+	w := &testFleet{log: newFakeLog(t, genesis), failureShare: map[string]float64{}, startedAt: time.Now()}
 	clock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	m := gossip.NewMember("n1", quota.Config{Epoch: 1500 * time.Millisecond, LeaseTimeout: time.Minute, ReportTTL: 3 * time.Second, RetryRatio: 0.2, MaxOutlierFraction: 0.25}, quota.Guards{}, clock)
-	m.Zone = "a"
-	for i, z := range []string{"a", "b", "b", "c", "c"} {
+	config := quota.Config{
+		Epoch:              1500 * time.Millisecond,
+		LeaseTimeout:       time.Minute,
+		ReportTTL:          3 * time.Second,
+		RetryRatio:         0.2,
+		MaxOutlierFraction: 0.25,
+	}
+	m := gossip.NewMember("n1", config, quota.Guards{}, clock)
+	m.Zone = testZones[0]
+	for i, z := range testZones[1:] {
 		m.SetMemberStatus(fmt.Sprint("n", i+2), quota.Alive, []byte(`{"zone":"`+z+`"}`))
 	}
-	w.agent = New(Options{Name: "n1", Zone: "a", Gossip: m, Log: w.log, Zones: &cfg, LogLease: 2 * time.Second, Clock: clock,
-		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6}})
+	w.agent = New(Options{
+		Name:     "n1",
+		Zone:     m.Zone,
+		Gossip:   m,
+		Log:      w.log,
+		LogLease: 2 * time.Second,
+		Clock:    clock,
+		Zones:    &zones,
+		Accounts: &account.LeaseConfig{Epoch: 1500 * time.Millisecond, HolderTimeout: time.Minute, FleetSize: 6},
+	})
 	l := &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	w.dial = l.dial
 	go func() {
@@ -117,73 +73,80 @@
 	return w
 }
 
-// hear has the other members speak.
+// receiveReports lets the other members gossip their reports.
 func (w *testFleet) receiveReports(seq int) {
-	for i, z := range []string{"a", "b", "b", "c", "c"} {
-		observations := ""
-		for _, to := range []string{"a", "b", "c"} {
-			bad := 0
-			if w.failureShare[to] >= 0.5 {
-				bad = 2
-			}
-			observations += fmt.Sprintf(`,["%s",2,%d,2,10,%g,0.4,0]`, to, bad, 10*w.failureShare[to])
+	const format = `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`
+	var observations []string
+	for _, to := range []string{"a", "b", "c"} {
+		failing := 0
+		if w.failureShare[to] >= 0.5 {
+			failing = 2
 		}
-		w.agent.Gossip.Receive(fmt.Appendf(nil, `{"member":"n%d","boot":1,"seq":%d,"at":%d,"firsts":10,"zone":"%s","sights":[%s]}`,
-			i+2, seq, time.Now().UnixNano(), z, observations[1:]))
+		observations = append(observations, fmt.Sprintf(`["%s",2,%d,2,10,%g,0.4,0]`, to, failing, 10*w.failureShare[to]))
+	}
+	for i, z := range testZones[1:] {
+		w.agent.Gossip.Receive(fmt.Appendf(nil, format, i+2, seq, time.Now().UnixNano(), z, strings.Join(observations, ",")))
 	}
 }
 
-// spending is what the node says: it sees what all see.
-func (w *testFleet) quotaUsage() (sp balance.QuotaUsage) {
-	sp.Period = w.halfEpoch
+// quotaUsage is what the node reports: it observes what all members observe.
+func (w *testFleet) quotaUsage() (usage balance.QuotaUsage) {
+	usage.Period = w.halfEpoch
 	for _, z := range []string{"a", "b", "c"} {
 		for i := range 2 {
-			sp.Servers = append(sp.Servers, balance.ServerUsage{ID: fmt.Sprint("s-", z, i), Zone: z, Load: 0.4, RecentAttempts: 5, RecentFailures: 5 * w.failureShare[z]})
+			usage.Servers = append(usage.Servers, balance.ServerUsage{
+				ID:             fmt.Sprint("s-", z, i),
+				Zone:           z,
+				Load:           0.4,
+				RecentAttempts: 5,
+				RecentFailures: 5 * w.failureShare[z],
+			})
 		}
 	}
-	return sp
+	return usage
 }
 
-// write adds a line to the transcript.
-func (w *testFleet) writeTranscript(who, format string, args ...any) {
-	fmt.Fprintf(&w.transcript, "%5.2f  %-9s %s\n", time.Since(w.startedAt).Seconds(), who, fmt.Sprintf(format, args...))
-}
-
-// talk is one connection.
-type apiClient struct {
-	conn   net.Conn
-	reader *bufio.Reader
-}
-
-func newAPIClient(c net.Conn) *apiClient { return &apiClient{c, bufio.NewReader(c)} }
-
-func (c *apiClient) request(line string) (string, error) {
-	if _, err := fmt.Fprintln(c.conn, line); err != nil {
-		return "", err
+// pollAgent sends a report of the node, and returns the agent's answer with its line.
+func (w *testFleet) pollAgent(t *testing.T, report agentapi.Report) (
+	response agentapi.Response, reportLine, responseLine string) {
+	t.Helper()
+	raw, err := json.Marshal(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, err := w.nodeClient.request(string(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal([]byte(answer), &response); err != nil {
+		t.Fatal(err)
 	}
-	return c.reader.ReadString('\n')
+	return response, string(raw), strings.TrimSpace(answer)
 }
 
-// pipes is a listener without sockets.
-type pipeListener struct {
-	accepted chan net.Conn
-	closed   chan struct{}
-	once     sync.Once
+// askAsOperator sends an operator's request, and writes the agent's answer to the transcript.
+func (w *testFleet) askAsOperator(t *testing.T, line string) {
+	t.Helper()
+	client := newAPIClient(w.dial())
+	answer, err := client.request(line)
+	if err != nil {
+		t.Error(err)
+	}
+	w.writeTranscript("agent", "%s", strings.TrimSpace(answer))
+	_ = client.conn.Close()
 }
 
-func (p *pipeListener) dial() net.Conn {
-	ours, theirs := net.Pipe()
-	p.accepted <- theirs
-	return ours
+// run runs the agent until ctx ends. The returned channel is closed then.
+func (w *testFleet) run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.agent.Run(ctx)
+	}()
+	return done
 }
 
-func (p *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.accepted:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
+// writeTranscript adds a line to the transcript.
+func (w *testFleet) writeTranscript(who, format string, args ...any) {
+	fmt.Fprintf(&w.transcript, "%5.2f  %-9s %s\n", time.Since(w.startedAt).Seconds(), who, fmt.Sprintf(format, args...))
 }
-func (p *pipeListener) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
-func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
