--- a/internal/downstream/doc.go
+++ b/internal/downstream/doc.go
@@ -10,7 +10,7 @@
 // Drain empties the server for good, LameDuck until Rejoin. Both migrate the established
 // sessions by a DrainPlan, or hand them over to another process.
 //
-// Goroutines: Serve runs on its caller's. Each client has one, which ends when its
+// Goroutines: Serve runs on the one that calls it. Each client has one, which ends when its
 // connection is closed; LameDuck has one, which ends with Rejoin, StartDraining or its plan.
 // Close waits for all of them.
 //
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -41,7 +41,7 @@
 	// upstream. Lingering clients may use LingeringSockets(Sockets) beside them.
 	Sockets int
 	// RetryAfter is what clients are asked to wait that are rejected before their request
-	// was read; with 0 they are asked nothing.
+	// was read; 0 leaves that out.
 	RetryAfter time.Duration
 	// UsedElsewhere returns how many of the sockets another process uses; nil where there
 	// can be none. It returns at once.
--- a/internal/fleet/agent/agent.go
+++ b/internal/fleet/agent/agent.go
@@ -135,8 +135,8 @@
 	a.evaluateObjectives(ctx, now, view, a.isLeader(), goroutines)
 }
 
-// decide sets what gossip tells the node: which part of the traffic into other zones it may
-// send, by the log or, out of its lease, by the isolated controller.
+// decide sets how much traffic the node may send into other zones, by the log or, out of its
+// lease, by the isolated controller.
 func (a *Agent) decide(now time.Duration, view replog.View, zones zonestatus.State) {
 	var decision gossip.Decision
 	if view.State != nil {
--- a/internal/fleet/agent/allocator.go
+++ b/internal/fleet/agent/allocator.go
@@ -130,8 +130,8 @@
 		return true
 	}
 	isSecondHalf := halfEpoch%2 == 1
-	hasNews := hasUsage || isSecondHalf && reportingMembers > q.reportingMembers
-	return hasNews && now >= q.allocatedAt+minAllocationGap*q.cost
+	hasNewUsage := hasUsage || isSecondHalf && reportingMembers > q.reportingMembers
+	return hasNewUsage && now >= q.allocatedAt+minAllocationGap*q.cost
 }
 
 // wait waits for the job's lease, but not for long.
--- a/internal/fleet/agent/operator.go
+++ b/internal/fleet/agent/operator.go
@@ -12,7 +12,7 @@
 	"coralrelay/internal/fleet/slo"
 )
 
-// The methods of an operator's request, as they are on the wire.
+// The methods of an operator's request. The words are on the wire and stay.
 const (
 	methodState   = "state"   // what this member knows, for people
 	methodRecord  = "record"  // all of the replicated log's state
--- a/internal/fleet/agent/state.go
+++ b/internal/fleet/agent/state.go
@@ -7,7 +7,7 @@
 	"coralrelay/internal/fleet/agentapi"
 )
 
-// State returns what this member knows and tells its node.
+// State returns what this member knows, and the decision that its node is sent.
 func (a *Agent) State() agentapi.State {
 	state := agentapi.State{
 		Name:              a.Name,
@@ -67,7 +67,7 @@
 	}
 }
 
-// addDecision adds what the node is told of zones.
+// addDecision adds the limits of traffic into zones that the node is sent.
 func (a *Agent) addDecision(state *agentapi.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/fleet/agent/transcript_test.go
+++ b/internal/fleet/agent/transcript_test.go
@@ -15,7 +15,7 @@
 
 // play runs a script for so long: members report at 25 ms after each tenth of a second, the
 // node at 50 ms, and operators ask at 75 ms. Of the node's exchange those lines are written
-// that change what it is told of zones.
+// that change its limits of traffic into zones.
 func (w *testFleet) play(t *testing.T, ctx context.Context, end time.Duration, script map[time.Duration]func()) {
 	const pause = 25 * time.Millisecond
 	done := w.run(ctx)
--- a/internal/fleet/agent/usages.go
+++ b/internal/fleet/agent/usages.go
@@ -8,7 +8,7 @@
 )
 
 // maxFilledPaths bounds the paths that are filled in for reports that were cut. A member
-// whose report is beyond it counts as not heard from, and as having used all that it had.
+// whose report is beyond it counts as missing, and as having used all that it had.
 const maxFilledPaths = 200_000
 
 // completeUsages returns members' usages as an allocation takes them. A path that a report of
--- a/internal/proxy/answer_test.go
+++ b/internal/proxy/answer_test.go
@@ -43,7 +43,7 @@
 	receive(t, b.finished)
 }
 
-// A session that is given up gets the answer that promises nothing, once, and is forgotten.
+// A session that is given up is answered with a failure, once, and is forgotten.
 func TestGiveUp(t *testing.T) {
 	b := startSession(t)
 	b.session.GiveUp()
--- a/internal/proxy/codec.go
+++ b/internal/proxy/codec.go
@@ -24,9 +24,9 @@
 // the upstream. Its methods return at once; lines are returned without their line end.
 type Codec interface {
 	// Busy returns the line that rejects a request. retryAfter is how long the client is
-	// asked to wait; with 0 or less it is asked nothing.
+	// asked to wait; 0 or less leaves that out.
 	Busy(retryAfter time.Duration) string
-	// Failed returns the line of an answer that promises nothing.
+	// Failed returns the line that fails a request without saying why.
 	Failed() string
 	// Move returns the line that asks the client to reconnect.
 	Move() string
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -6,8 +6,8 @@
 // the attempts to connect to an upstream call Reject, Fail and Establish; the first call
 // settles the session and is its one final answer, all later ones return false.
 //
-// Goroutines: Session.Run is called on a goroutine of the caller's and owns the relay from
-// the upstream to the client. It starts one goroutine that reads the client and relays to
+// Goroutines: Session.Run owns the relay from the upstream to the client, on the goroutine that
+// calls it. It starts one goroutine that reads the client and relays to
 // the upstream; with a Resumption, a second one that starts the upstream's stream; and,
 // where the client's reader has stopped early, one that discards what the client still
 // sends. Run returns after all of these have ended and both connections are closed.
--- a/internal/proxy/handover_start_test.go
+++ b/internal/proxy/handover_start_test.go
@@ -84,7 +84,7 @@
 		successor.accepts <- false
 		b.expectLine(t, b.clientReader, "MOVE\r\n")
 	})
-	upstreamSays := func(line string) func(t *testing.T, b *fixture) string {
+	upstreamWrites := func(line string) func(t *testing.T, b *fixture) string {
 		return func(t *testing.T, b *fixture) string {
 			write(t, b.upstream, line)
 			b.upstream.Close()
@@ -96,8 +96,8 @@
 		return "MOVE\r\n"
 	}
 	tests := map[string]func(t *testing.T, b *fixture) (lastLine string){
-		"MOVE":        upstreamSays("MOVE\r\n"),
-		"BYE":         upstreamSays("BYE\r\n"),
+		"MOVE":        upstreamWrites("MOVE\r\n"),
+		"BYE":         upstreamWrites("BYE\r\n"),
 		"a migration": migrate,
 	}
 	for name, end := range tests {
--- a/internal/proxy/ordering_test.go
+++ b/internal/proxy/ordering_test.go
@@ -78,7 +78,7 @@
 
 // UP and what ends its connection in one segment: the client reads UP, and then the end.
 func TestUpstreamEndsRightAfterUp(t *testing.T) {
-	sayBye := func(upstream net.Conn) {
+	sendBye := func(upstream net.Conn) {
 		fmt.Fprint(upstream, "BYE\r\n")
 		upstream.Close()
 	}
@@ -87,7 +87,7 @@
 		want balance.Outcome
 	}{
 		"closes":   {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
-		"says BYE": {sayBye, balance.OK},
+		"sends BYE": {sendBye, balance.OK},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -107,7 +107,7 @@
 	return s.settle(answer{line: s.codec.Busy(retryAfter), rejected: true})
 }
 
-// Fail gives the final answer that promises nothing. It returns false if the session was
+// Fail gives the final answer that fails the request. It returns false if the session was
 // settled before.
 func (s *Session) Fail() bool { return s.settle(answer{line: s.codec.Failed()}) }
 
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -64,7 +64,7 @@
 
 // Either side's end ends the other side.
 func TestEndOfEitherSideEndsTheOther(t *testing.T) {
-	upstreamSays := func(line string) func(*testing.T, *fixture) {
+	upstreamWrites := func(line string) func(*testing.T, *fixture) {
 		return func(t *testing.T, b *fixture) {
 			write(t, b.upstream, line)
 			b.upstream.Close()
@@ -81,8 +81,8 @@
 		want     balance.Outcome
 		lastLine string // that the client reads
 	}{
-		{"upstream says BYE", upstreamSays("BYE x0=1\r\n"), balance.OK, "BYE x0=1\r\n"},
-		{"upstream says MOVE", upstreamSays("MOVE\r\n"), balance.Cancelled, "MOVE\r\n"},
+		{"upstream sends BYE", upstreamWrites("BYE x0=1\r\n"), balance.OK, "BYE x0=1\r\n"},
+		{"upstream sends MOVE", upstreamWrites("MOVE\r\n"), balance.Cancelled, "MOVE\r\n"},
 		{"upstream closes", func(_ *testing.T, b *fixture) { b.upstream.Close() }, balance.Reset, ""},
 		{"upstream resets", func(t *testing.T, b *fixture) { reset(t, b.upstream) }, balance.Reset, ""},
 		{"client closes", func(_ *testing.T, b *fixture) { b.client.Close() }, balance.Cancelled, ""},
