--- a/internal/proxy/ordering_test.go
+++ b/internal/proxy/ordering_test.go
@@ -86,7 +86,7 @@
 		end  func(upstream net.Conn)
 		want balance.Outcome
 	}{
-		"closes":   {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
+		"closes":    {func(upstream net.Conn) { upstream.Close() }, balance.Reset},
 		"sends BYE": {sendBye, balance.OK},
 	}
 	for name, tt := range tests {
