--- /dev/null
+++ b/cmd/coralagent/slo.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"coralrelay/internal/fleet/agent"
+	"coralrelay/internal/operatorconfig"
+)
+
+// sloOptions returns this agent's part in keeping objectives; nil where none are kept.
+func sloOptions(fleet operatorconfig.Fleet) *agent.SLOOptions {
+	if !fleet.SLO.Enabled {
+		return nil
+	}
+	options := &agent.SLOOptions{
+		Config:     fleet.SLO.Config(),
+		TimeScale:  fleet.SLO.Pace,
+		ScaledTime: fleet.SLO.Time,
+		Zones:      fleet.Zones.Config(),
+		Guards:     sloGuards(),
+	}
+	for _, voter := range fleet.ReplicatedLog.Voters {
+		options.Voters = append(options.Voters, voter.Name)
+	}
+	return options
+}
--- /dev/null
+++ b/internal/downstream/capacity.go
@@ -0,0 +1,110 @@
+package downstream
+
+import (
+	"time"
+
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/proxy"
+)
+
+// minLinger is how long a client lingers at least, also when others wait for its socket.
+const minLinger = 25 * time.Millisecond
+
+// LingeringSockets returns how many sockets lingering clients may use beside the given
+// number of sockets of clients and upstreams.
+func LingeringSockets(sockets int) int { return max(4, sockets/16) }
+
+// SetSocketLimit changes how many sockets clients and their upstreams may use.
+func (s *Server) SetSocketLimit(sockets int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.Sockets = sockets
+}
+
+// socketsUsed counts the sockets of clients and upstreams, without those of lingering
+// clients, in both processes where there are two. The lock is held.
+func (s *Server) socketsUsed() int {
+	used := len(s.clients) - s.lingeringCount + len(s.sessions)
+	if s.limits.UsedElsewhere != nil {
+		used += s.limits.UsedElsewhere()
+	}
+	return used
+}
+
+// awaitCapacity returns when there is capacity for one more client, even if it can only be
+// rejected. The client that has been idle for longest makes way for it; usual clients send
+// their first line at once.
+func (s *Server) awaitCapacity() {
+	for wait := s.makeCapacity(); wait > 0; wait = s.makeCapacity() {
+		select {
+		case <-s.socketFreed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// makeCapacity returns 0 if there is capacity for one more client. Else it evicts one, or
+// cuts the oldest lingering one short, and returns when to look again. Half of the lingering
+// sockets are left to clients that admit rejects.
+func (s *Server) makeCapacity() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maxLingering := LingeringSockets(s.limits.Sockets) / 2
+	mayEvict := s.lingeringCount < maxLingering
+	if mayEvict && s.socketsUsed() >= s.limits.Sockets {
+		s.evictLongestIdle(nil)
+	}
+	// Again, as one more may linger now.
+	if s.lingeringCount < maxLingering && s.socketsUsed() < s.limits.Sockets {
+		return 0
+	}
+	if len(s.clients)-len(s.sessions) < maxLingering {
+		return 0
+	}
+	return s.cutOldestLingering()
+}
+
+// cutOldestLingering ends the client that has lingered for longest, once that is minLinger.
+// It returns when to look again. The lock is held.
+func (s *Server) cutOldestLingering() time.Duration {
+	oldest := s.lingering.Front()
+	if oldest == nil {
+		return minLinger
+	}
+	client := oldest.Value.(*pendingClient)
+	if remaining := minLinger - time.Since(client.lingersSince); remaining > 0 {
+		return remaining
+	}
+	s.lingering.Remove(oldest)
+	_ = client.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
+	return minLinger
+}
+
+// admit reports whether a session that client has opened may be served, and adds it then.
+// While the server drains, sessions are still admitted until rejectAt: clients are sent
+// here until everybody knows that it drains.
+func (s *Server) admit(session *proxy.Session, client *pendingClient) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if client.lingers() || s.draining && !time.Now().Before(s.rejectAt) {
+		return false
+	}
+	if s.socketsUsed() >= s.limits.Sockets {
+		mayEvict := s.lingeringCount < LingeringSockets(s.limits.Sockets)
+		if !mayEvict || !s.evictLongestIdle(client) {
+			return false
+		}
+	}
+	s.idle.Remove(client.element)
+	s.sessions[session] = false
+	_ = client.conn.SetReadDeadline(time.Time{}) // it can't be evicted any more
+	return true
+}
+
+// signalSocketFreed wakes awaitCapacity.
+func (s *Server) signalSocketFreed() {
+	select {
+	case s.socketFreed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/fleet/agent/zoneleader.go
@@ -0,0 +1,30 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/fleet/zonestatus"
+)
+
+// proposeZoneChange evaluates all members' reports, and proposes a change of the zones'
+// status if one is due: one at a time, so that each is decided on the state that the last
+// one left. Only the leader calls it.
+func (a *Agent) proposeZoneChange(ctx context.Context, now time.Duration, zones zonestatus.State,
+	goroutines *sync.WaitGroup) {
+	change, reason, due := a.zoneController.Evaluate(now, zones, a.Gossip.ZoneReports(), a.presentMembers())
+	if !due {
+		return
+	}
+	select {
+	case a.proposalSlot <- struct{}{}:
+	default:
+		return
+	}
+	goroutines.Go(func() {
+		defer func() { <-a.proposalSlot }()
+		a.propose(ctx, logentry.KindZones, now, change, reason)
+	})
+}
--- /dev/null
+++ b/internal/proxy/handover.go
@@ -0,0 +1,89 @@
+package proxy
+
+import (
+	"net"
+	"time"
+
+	"coralrelay/internal/bufconn"
+)
+
+// EstablishedSession is what another process needs, besides the two connections, to go on
+// with a session. Package hotrestart sends it as JSON, also to another version of the
+// program, so its keys must not change.
+type EstablishedSession struct {
+	Request
+	Server       string    `json:"Server"`
+	FromClient   []byte    `json:"FromCaller"` // read from the client and not yet relayed
+	FromUpstream []byte    `json:"FromHop"`    // read from the upstream and not yet relayed
+	PendingSince time.Time `json:"Pending"`    // when the oldest unanswered client line was relayed; zero if none
+	// Gate is set by the receiver while the sender may still keep the connections.
+	Gate *CommitGate `json:"-"`
+}
+
+// Successor is another process that takes sessions over.
+type Successor interface {
+	// Take returns true once the successor owns both connections. If it returns false, they
+	// stay this process's, and nothing was read from them or written to them.
+	Take(state EstablishedSession, client, upstream net.Conn) bool
+}
+
+// HandOver hands an established session to another process, between two lines; if that does
+// not take it, the client is migrated. It returns at once, and before UP it does nothing.
+// A client with a Resumption is always migrated, as its position is not handed over.
+func (s *Session) HandOver(successor Successor) {
+	if s.Resumption != nil {
+		s.Migrate()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.upstream != nil && !s.migrating && !s.clientGone && !s.clientClosing && s.successor == nil {
+		s.successor = successor
+		s.client.InterruptRead() // its reader interrupts the relay to the client when it has stopped
+	}
+}
+
+func (s *Session) isHandingOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.successor != nil
+}
+
+// offerToSuccessor offers the session to the successor. Nothing reads from either
+// connection any more. With EndMigrated the client is still to be sent MOVE.
+func (s *Session) offerToSuccessor(upstream *bufconn.Conn) EndReason {
+	s.mu.Lock()
+	clientGone, migrating, successor := s.clientGone, s.migrating, s.successor
+	s.handoverOffered = true
+	state := EstablishedSession{
+		Request:      s.Request,
+		Server:       s.server,
+		FromClient:   s.client.Unread(),
+		FromUpstream: upstream.Unread(),
+		PendingSince: s.pendingSince,
+	}
+	s.mu.Unlock()
+	switch {
+	case clientGone:
+		return s.closeUpstream(upstream, EndClientClosed)
+	case !migrating && successor.Take(state, s.client.Conn, upstream.Conn):
+		return EndHandedOver
+	}
+	return s.closeUpstream(upstream, EndMigrated)
+}
+
+// Inherit returns the session that another process has handed over with its two
+// connections. It is served by Run.
+func Inherit(state EstablishedSession, codec Codec, observer Observer, client, upstream net.Conn) *Session {
+	session := New(state.Request, nil, codec, observer, state.Gate.newConn(client, state.FromClient))
+	upstreamConn := state.Gate.newConn(upstream, state.FromUpstream)
+	session.settle(answer{server: state.Server, upstream: upstreamConn})
+	session.pendingSince = state.PendingSince
+	if !session.pendingSince.IsZero() {
+		_ = upstreamConn.SetReadDeadline(session.pendingSince.Add(answerTimeout))
+	}
+	if state.Gate != nil {
+		state.Gate.session = session
+	}
+	return session
+}
