--- a/internal/fleet/replog/followers.go
+++ b/internal/fleet/replog/followers.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"time"
 )
 
-// feed serves one follower until it goes: what it lacks at once, then each entry as it
-// comes, and each new word of the leader's.
+// serveFollower serves one follower until its connection or ctx ends: what it lacks at
+// once, then each entry as it is committed, and a heartbeat at each confirmation of the
+// leader.
 func (r *Replica) serveFollower(ctx context.Context, conn *sealedConn) {
 	defer func() { _ = conn.Close() }()
 	var greeting hello
@@ -24,18 +24,34 @@
 	defer r.removeFollower(&greeting, conn)
 	clock := &upstreamClock{lastSequence: 1, receivedAt: time.Now()}
 	_ = conn.SetReadDeadline(time.Time{})
-	gone := make(chan struct{})
-	defer func() { _ = conn.Close(); <-gone }()
-	go func() { // reads numbers until the connection is closed, by either side
-		defer close(gone)
-		for {
-			if err := clock.readSequence(conn); err != nil {
-				slog.Debug("record: a follower is gone", "follower", greeting.Name, "err", err)
-				return
-			}
-		}
+	disconnected := make(chan struct{})
+	defer func() {
+		_ = conn.Close()
+		<-disconnected
+	}()
+	go func() { // ends when either side closes the connection
+		defer close(disconnected)
+		readSequences(conn, clock, greeting.Name)
 	}()
-	sentIndex, sentConfirmedAt := greeting.Index, time.Time{}
+	r.feed(ctx, conn, clock, greeting.Index, disconnected)
+}
+
+// readSequences reads a follower's sequence numbers until that fails.
+func readSequences(conn *sealedConn, clock *upstreamClock, follower string) {
+	for {
+		if err := clock.readSequence(conn); err != nil {
+			slog.Debug("follower disconnected", component, "follower", follower, "error", err)
+			return
+		}
+	}
+}
+
+// feed writes entries after sentIndex and heartbeats to a follower, until a write fails, it
+// has disconnected or ctx ends.
+func (r *Replica) feed(
+	ctx context.Context, conn *sealedConn, clock *upstreamClock, sentIndex uint64, disconnected <-chan struct{},
+) {
+	sentConfirmedAt := time.Time{}
 	idle := time.NewTimer(0)
 	defer idle.Stop()
 	for heartbeatDue := true; ; {
@@ -52,14 +68,14 @@
 				return
 			}
 			sentConfirmedAt = view.ConfirmedAt
-			idle.Reset(2 * r.options.heartbeatInterval()) // where the leader is heard, its pulse comes first
+			idle.Reset(2 * r.options.heartbeatInterval()) // a confirmation comes first while there is a leader
 		}
 		heartbeatDue = false
 		select {
 		case <-changed:
 		case <-idle.C:
 			heartbeatDue = true
-		case <-gone:
+		case <-disconnected:
 			return
 		case <-ctx.Done():
 			return
@@ -67,7 +83,8 @@
 	}
 }
 
-// pass writes all that comes after an index, and returns the last that was written.
+// sendEntriesAfter writes all entries after an index, or the whole state if some of them are
+// not kept any more. It returns the index up to which the follower then has them.
 func (r *Replica) sendEntriesAfter(conn *sealedConn, index uint64) (uint64, error) {
 	entries, ok := r.publisher.entriesAfter(index)
 	if !ok {
@@ -78,8 +95,9 @@
 		}
 		return state.Index, writeMessage(conn, msgState, payload)
 	}
-	for _, entry := range entries {
-		if err := writeMessage(conn, msgEntry, binary.BigEndian.AppendUint64(nil, entry.index), entry.hash[:], entry.raw); err != nil {
+	for i := range entries {
+		entry := &entries[i]
+		if err := writeMessage(conn, msgEntry, encodeEntryHeader(entry), entry.raw); err != nil {
 			return index, err
 		}
 		index = entry.index
@@ -87,17 +105,19 @@
 	return index, nil
 }
 
-// beat is this member's word, its age told as of the last number.
+// newHeartbeat returns the heartbeat for a view; it names the follower's last sequence number.
 func (r *Replica) newHeartbeat(view View, clock *upstreamClock) heartbeat {
 	beat := heartbeat{Leader: view.Leader, Path: append(append([]string{}, view.Path...), r.self.Name)}
 	if !view.ConfirmedAt.IsZero() {
 		sequence, receivedAt := clock.acknowledge()
-		beat.Sequence, beat.AgeMicros = sequence, receivedAt.Sub(view.ConfirmedAt).Microseconds()
+		beat.Sequence = sequence
+		beat.AgeMicros = receivedAt.Sub(view.ConfirmedAt).Microseconds()
 	}
 	return beat
 }
 
-// admit takes a follower in, or says why not and who may. Voters always have room.
+// admitFollower registers a follower, or returns why it is not served and who may serve it.
+// There is always capacity for voters.
 func (r *Replica) admitFollower(greeting *hello, conn *sealedConn) *rejection {
 	if greeting.Name == "" || len(greeting.Name) > maxNameLength {
 		return &rejection{Reason: fmt.Sprintf("a name of %d bytes", len(greeting.Name))}
@@ -105,47 +125,49 @@
 	if greeting.Index > r.publisher.view.Load().State.Index {
 		return &rejection{Reason: "behind"}
 	}
-	if known, ok := r.publisher.hashAt(greeting.Index); ok && known != greeting.Hash && !r.options.Mutations.SkipHashCheck {
-		slog.Warn("record: a follower has another chain and is refused", "follower", greeting.Name, "index", greeting.Index)
+	known, ok := r.publisher.hashAt(greeting.Index)
+	if ok && known != greeting.Hash && !r.options.Mutations.SkipHashCheck {
+		slog.Warn("follower with a different hash chain rejected", component,
+			"follower", greeting.Name, "index", greeting.Index)
 		return &rejection{Reason: reasonForked}
 	}
-	_, isVoter := r.options.findVoter(greeting.Name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if previous := r.followers[greeting.Name]; previous != nil { // its process is a new one, or it has given the other up
+	if previous := r.followers[greeting.Name]; previous != nil { // its process has restarted, or has given that up
 		_ = previous.Close()
-	} else if n := r.nonVoterFollowers(); !isVoter && n >= maxFollowers {
-		rejected := &rejection{Reason: "full"}
-		for name, follower := range r.followers {
-			if _, isVoter := r.options.findVoter(name); !isVoter {
-				rejected.Alternatives = append(rejected.Alternatives, Peer{Name: name, Addr: follower.followerAddr})
-			}
+	} else if _, isVoter := r.options.findVoter(greeting.Name); !isVoter {
+		if nonVoters := r.nonVoterFollowers(); len(nonVoters) >= maxFollowers {
+			return &rejection{Reason: "full", Alternatives: nonVoters}
 		}
-		return rejected
 	}
 	conn.followerAddr = greeting.Addr
 	r.followers[greeting.Name] = conn
-	n := len(r.followers)
-	r.publisher.updateView(func(v *View) { v.FollowerCount = n })
+	r.publishFollowerCount()
 	return nil
 }
 
-// fed counts the followers that have no vote. The lock is held.
-func (r *Replica) nonVoterFollowers() (count int) {
-	for name := range r.followers {
+// nonVoterFollowers returns the followers that are not among the voters. The caller holds mu.
+func (r *Replica) nonVoterFollowers() (nonVoters []Peer) {
+	for name, follower := range r.followers {
 		if _, isVoter := r.options.findVoter(name); !isVoter {
-			count++
+			nonVoters = append(nonVoters, Peer{Name: name, Addr: follower.followerAddr})
 		}
 	}
-	return count
+	return nonVoters
 }
 
+// removeFollower forgets a follower, unless a newer connection has replaced this one.
 func (r *Replica) removeFollower(greeting *hello, conn *sealedConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.followers[greeting.Name] == conn {
 		delete(r.followers, greeting.Name)
 	}
-	n := len(r.followers)
-	r.publisher.updateView(func(v *View) { v.FollowerCount = n })
+	r.publishFollowerCount()
+}
+
+// publishFollowerCount brings the number of followers into the view. The caller holds mu.
+func (r *Replica) publishFollowerCount() {
+	count := len(r.followers)
+	r.publisher.updateView(func(v *View) { v.FollowerCount = count })
 }
--- a/internal/fleet/replog/fsm.go
+++ b/internal/fleet/replog/fsm.go
@@ -9,28 +9,28 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// machine applies what raft has committed. It begins at raft's snapshot, which may be
-// behind what the member knows already from others.
+// stateMachine applies what raft has committed: it is raft's FSM. It begins at raft's
+// snapshot, which may be behind what the member has received from an upstream.
 type stateMachine struct {
 	replica *Replica
 	state   *logentry.State
 }
 
-// Apply takes one entry and returns its entry.Outcome.
+// Apply applies one entry and returns its logentry.Outcome.
 func (m *stateMachine) Apply(entry *raft.Log) any {
 	next, outcome := m.state.Apply(entry.Data)
 	if known, ok := m.replica.publisher.hashAt(next.Index); ok && known != next.Hash {
-		slog.Error("record: the log has another chain than what was heard before", "index", next.Index)
+		slog.Error("committed log contradicts the hash chain received earlier", component, "index", next.Index)
 	}
 	m.state = next
 	m.replica.publisher.publishState(next, entry.Data)
 	return outcome
 }
 
-// Snapshot returns the state as it is.
+// Snapshot returns the state as it is; Apply never changes it in place.
 func (m *stateMachine) Snapshot() (raft.FSMSnapshot, error) { return stateSnapshot{m.state}, nil }
 
-// Restore takes a state in place of all that was applied.
+// Restore replaces all that was applied by a snapshot's state.
 func (m *stateMachine) Restore(source io.ReadCloser) error {
 	defer func() { _ = source.Close() }()
 	encoded, err := io.ReadAll(io.LimitReader(source, maxStateSize+1))
@@ -49,9 +49,10 @@
 	return nil
 }
 
+// stateSnapshot is a state on its way into raft's snapshot store.
 type stateSnapshot struct{ state *logentry.State }
 
-// Persist writes the state to raft's store.
+// Persist writes the state to sink.
 func (s stateSnapshot) Persist(sink raft.SnapshotSink) error {
 	encoded, err := encodeState(s.state)
 	if err == nil {
@@ -64,5 +65,5 @@
 	return sink.Close()
 }
 
-// Release has nothing to let go: states are never changed in place.
+// Release does nothing: states are never changed in place.
 func (stateSnapshot) Release() {}
--- a/internal/fleet/replog/leaseclock.go
+++ b/internal/fleet/replog/leaseclock.go
@@ -9,79 +9,92 @@
 	"time"
 )
 
-// A beat may wait on its way for as long as a process is stopped or a link is slow, and its
-// receiver can't see for how long. So a follower sends numbers, and a beat tells its word's
-// age at the moment when the last of them was read: that is no earlier than the follower
-// sent it, by the follower's own clock. A word is never taken for younger than it is, and
-// for older by a number's way. The hello counts as number 1.
+// A heartbeat may be on its way for as long as a process is stopped or a link is slow, and
+// its receiver can't see for how long. So a follower sends sequence numbers, one at a time,
+// and a heartbeat names the last one that the upstream has received, with the age that the
+// leader's confirmation had at that moment. That moment is no earlier than the one at which
+// the follower sent the number, by the follower's own clock. So a confirmation is never
+// taken for younger than it is; for older at most by the time a number was on its way. The
+// hello counts as sequence number 1.
 
-var errSequence = errors.New("a number that was not sent, or not awaited")
+// sequenceSize is the length of a sequence number in bytes.
+const sequenceSize = 8
 
-// sentNumbers is a follower's side: one number is under way at most.
+// errSequence reports a sequence number that was not sent, or not waited for.
+var errSequence = errors.New("unexpected sequence number")
+
+// followerClock is the follower's side of a connection. One goroutine uses it.
 type followerClock struct {
 	lastSequence           uint64
-	sentAt, previousSentAt time.Time // when that was sent, and the one before it
+	sentAt, previousSentAt time.Time // of lastSequence, and of the one before it
 }
 
-// next counts a number that is sent now.
-func (s *followerClock) nextSequence() uint64 {
-	s.lastSequence, s.previousSentAt, s.sentAt = s.lastSequence+1, s.sentAt, time.Now()
-	return s.lastSequence
+// nextSequence returns the number to send now.
+func (c *followerClock) nextSequence() uint64 {
+	c.lastSequence++
+	c.previousSentAt, c.sentAt = c.sentAt, time.Now()
+	return c.lastSequence
 }
 
-// word tells when a beat's word held: the zero time where nothing was ever heard. A number
-// that is not read for so long that clocks may drift apart is an error.
-func (s *followerClock) confirmedAt(beat *heartbeat, maxAge time.Duration) (at time.Time, err error) {
-	switch {
-	case beat.Sequence == 0:
+// confirmedAt returns when the confirmation behind a heartbeat held at the latest: the zero
+// time if the upstream never had one. It is an error if the upstream has not read a number
+// for longer than maxAge, in which clocks may drift apart.
+func (c *followerClock) confirmedAt(beat *heartbeat, maxAge time.Duration) (at time.Time, err error) {
+	switch beat.Sequence {
+	case 0:
 		return time.Time{}, nil
-	case beat.Sequence == s.lastSequence:
-		at = s.sentAt
-	case beat.Sequence == s.lastSequence-1:
-		at = s.previousSentAt
+	case c.lastSequence:
+		at = c.sentAt
+	case c.lastSequence - 1:
+		at = c.previousSentAt
 	default:
-		return time.Time{}, fmt.Errorf("%w: %d, the last is %d", errSequence, beat.Sequence, s.lastSequence)
+		return time.Time{}, fmt.Errorf("%w: %d, the last one sent is %d", errSequence, beat.Sequence, c.lastSequence)
 	}
 	now := time.Now()
 	if waiting := now.Sub(at); waiting > maxAge {
-		return time.Time{}, fmt.Errorf("what is sent to it is not read: number %d is of %v ago", beat.Sequence, waiting)
+		return time.Time{}, fmt.Errorf("upstream does not read: sequence number %d was sent %v ago", beat.Sequence, waiting)
 	}
-	if at = at.Add(-time.Duration(beat.AgeMicros) * time.Microsecond); at.After(now) {
-		at = now // it lies, or clocks drift
+	at = at.Add(-time.Duration(beat.AgeMicros) * time.Microsecond)
+	if at.After(now) { // the upstream lies, or clocks drift
+		at = now
 	}
 	return at, nil
 }
 
-// readNumbers is the server's side.
+// upstreamClock is the upstream's side of a connection. One goroutine reads numbers while
+// another one acknowledges them.
 type upstreamClock struct {
 	mu           sync.Mutex
 	lastSequence uint64
-	receivedAt   time.Time // when it was read
-	acknowledged bool      // a beat has named it
+	receivedAt   time.Time // of lastSequence
+	acknowledged bool      // a heartbeat has named lastSequence
 }
 
-// tell returns the last number and when it was read; a beat names it.
-func (n *upstreamClock) acknowledge() (uint64, time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.acknowledged = true
-	return n.lastSequence, n.receivedAt
+// acknowledge returns the last number and when it was received, for the heartbeat that
+// names it.
+func (c *upstreamClock) acknowledge() (sequence uint64, receivedAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acknowledged = true
+	return c.lastSequence, c.receivedAt
 }
 
-// read takes one number, which must follow on the last, and that must have been told.
-func (n *upstreamClock) readSequence(reader io.Reader) error {
-	kind, payload, err := readMessage(reader, 8)
+// readSequence reads one number. It must be the next one, and the last one must have been
+// acknowledged.
+func (c *upstreamClock) readSequence(reader io.Reader) error {
+	kind, payload, err := readMessage(reader, sequenceSize)
 	if err != nil {
 		return err
 	}
-	if kind != msgSequence || len(payload) != 8 {
-		return fmt.Errorf("message %q of %d bytes, want a number", kind, len(payload))
+	if kind != msgSequence || len(payload) != sequenceSize {
+		return fmt.Errorf("message %q of %d bytes, want a sequence number", kind, len(payload))
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if sequence := binary.BigEndian.Uint64(payload); sequence != n.lastSequence+1 || !n.acknowledged {
-		return fmt.Errorf("%w: %d, the last was %d", errSequence, sequence, n.lastSequence)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sequence := binary.BigEndian.Uint64(payload)
+	if sequence != c.lastSequence+1 || !c.acknowledged {
+		return fmt.Errorf("%w: %d, the last one was %d", errSequence, sequence, c.lastSequence)
 	}
-	n.lastSequence, n.receivedAt, n.acknowledged = n.lastSequence+1, time.Now(), false
+	c.lastSequence, c.receivedAt, c.acknowledged = sequence, time.Now(), false
 	return nil
 }
--- a/internal/fleet/replog/leaseclock_test.go
+++ b/internal/fleet/replog/leaseclock_test.go
@@ -61,7 +61,7 @@
 				up.publisher.confirmLeader(time.Now(), "up", nil)
 				go up.serveFollower(ctx, called)
 				go func() {
-					_, _, err := down.receive(ctx, caller, Peer{Name: "up"}, true)
+					_, err := down.receiveFrom(caller, Peer{Name: "up"}, true)
 					ended <- err
 				}()
 				defer func() {
--- a/internal/fleet/replog/messages.go
+++ b/internal/fleet/replog/messages.go
@@ -9,37 +9,47 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// What a connection is for: the first byte that the caller says.
+// connPurpose is what a connection is for: the first byte that the dialing side sends.
+type connPurpose byte
+
+// The purposes of a connection.
 const (
-	purposeRaft         = 'R'
-	purposeFollow       = 'F'
-	purposePropose      = 'P'
-	purposeVoterRequest = 'A'
+	purposeRaft         connPurpose = 'R'
+	purposeFollow       connPurpose = 'F'
+	purposePropose      connPurpose = 'P'
+	purposeVoterRequest connPurpose = 'A'
 )
 
-// Kinds of message after that, on all but raft's connections: a byte, four of length, and
-// so much text.
+// messageKind is the first byte of a message, on all connections but raft's. After it come
+// the payload's length, four bytes, big-endian, and the payload.
+type messageKind byte
+
+// The kinds of message and their payloads. The letters and the JSON names date from earlier
+// names of the types; members of two versions rely on them.
 const (
-	msgHello          = 'h' // JSON: hello
-	msgRejection      = 'n' // JSON: no
-	msgEntry          = 'e' // eight bytes of index, the chain's hash after it, the entry
-	msgState          = 's' // a whole state: its sum, and JSON
-	msgHeartbeat      = 'b' // JSON: beat
-	msgSequence       = 'c' // eight bytes, from the follower
-	msgProposal       = 'p' // an entry
-	msgProposalResult = 'a' // JSON: answer
-	msgVoterRequest   = 'q' // JSON: ask
-	msgVoterInfo      = 'm' // JSON: mine
+	msgHello          messageKind = 'h' // JSON: hello
+	msgRejection      messageKind = 'n' // JSON: rejection
+	msgEntry          messageKind = 'e' // an entry: see encodeEntryHeader
+	msgState          messageKind = 's' // a whole state: see encodeState
+	msgHeartbeat      messageKind = 'b' // JSON: heartbeat
+	msgSequence       messageKind = 'c' // a follower's sequence number, eight bytes, big-endian
+	msgProposal       messageKind = 'p' // an entry, as JSON
+	msgProposalResult messageKind = 'a' // JSON: proposalResult
+	msgVoterRequest   messageKind = 'q' // JSON: voterRequest
+	msgVoterInfo      messageKind = 'm' // JSON: voterInfo
 )
 
-// Bounds on what is read.
+// Sizes in bytes.
 const (
+	messageHeaderSize = 5 // kind and payload's length
+	entryHeaderSize   = 8 + len(logentry.Hash{})
+
 	maxStateSize        = 64 << 20
-	maxControlSize      = 64 << 10
-	maxEntryMessageSize = logentry.MaxSize + 8 + len(logentry.Hash{})
+	maxControlSize      = 64 << 10 // of a JSON payload
+	maxEntryMessageSize = entryHeaderSize + logentry.MaxSize
 )
 
-// hello is a follower's first word.
+// hello is a follower's first message: who it is, and the last entry that it has.
 type hello struct {
 	Name  string        `json:"name"`
 	Addr  string        `json:"addr"`
@@ -47,43 +57,75 @@
 	Hash  logentry.Hash `json:"hash"`
 }
 
-// no turns a follower away.
+// reasonForked is the Reason of a rejection if the follower's hash chain differs.
+const reasonForked = "another chain"
+
+// rejection is the answer to the hello of a follower that is not served.
 type rejection struct {
 	Reason       string `json:"why"`
-	Alternatives []Peer `json:"others,omitempty"` // who may have room
+	Alternatives []Peer `json:"others,omitempty"` // members that may have capacity
 }
 
-// beat says how old the word is that all up to here rests on.
+// heartbeat says how old the last confirmation of the leader is: see followerClock.
 type heartbeat struct {
-	Sequence  uint64   `json:"n,omitempty"` // the follower's last that was read; 0 if nothing was ever heard
-	AgeMicros int64    `json:"a"`           // microseconds, when that number was read; negative for a word that came later
-	Leader    string   `json:"l,omitempty"` // as the server knows it
-	Path      []string `json:"p"`           // of the word: from the leader to the server
+	Sequence  uint64   `json:"n,omitempty"` // the follower's last number received; 0 if no leader was ever confirmed
+	AgeMicros int64    `json:"a"`           // when that number was received; negative for a later confirmation
+	Leader    string   `json:"l,omitempty"` // as the sender knows it
+	Path      []string `json:"p"`           // members by which it came, from the leader to the sender
 }
 
-// answer is what became of a proposal.
+// proposalResult is the answer to a proposal.
 type proposalResult struct {
 	Outcome        logentry.Outcome `json:"outcome"`
-	Error          string           `json:"fault,omitempty"`  // empty where Outcome counts
-	OutcomeUnknown bool             `json:"unknown"`          // it may or may not become part of the log
-	Leader         string           `json:"leader,omitempty"` // of who does not lead: who does, if known
+	Error          string           `json:"fault,omitempty"`  // empty if Outcome counts
+	OutcomeUnknown bool             `json:"unknown"`          // the entry may or may not become part of the log
+	Leader         string           `json:"leader,omitempty"` // the leader that a member which does not lead knows
 }
 
-func writeMessage(writer io.Writer, kind byte, parts ...[]byte) error {
+// voterAction is what a voterRequest asks for.
+type voterAction string
+
+// The actions. Readmit and promote are the leader's; see changeMembership.
+const (
+	actionDescribe voterAction = "who"
+	actionReadmit  voterAction = "back" // take back, as a non-voter, a voter that has lost its store
+	actionPromote  voterAction = "vote" // give it its vote again
+)
+
+// voterRequest is what one voter asks of another.
+type voterRequest struct {
+	Action       voterAction `json:"want"`
+	Name         string      `json:"name"`              // of the voter that asks
+	AppliedIndex uint64      `json:"applied,omitempty"` // raft's, for actionPromote
+}
+
+// voterInfo is the answer to a voterRequest: what a voter knows of its store.
+type voterInfo struct {
+	StoreID         string   `json:"id,omitempty"`       // empty if none is open
+	Bootstrapped    bool     `json:"founded,omitempty"`  // the store is not blank
+	BootstrapStores storeIDs `json:"founders,omitempty"` // with which the fleet was bootstrapped
+	Index           uint64   `json:"index"`              // of the state that it knows
+	Error           string   `json:"fault,omitempty"`    // why the action was not taken
+}
+
+// writeMessage writes a message, its payload in parts, at once.
+func writeMessage(writer io.Writer, kind messageKind, parts ...[]byte) error {
 	size := 0
 	for _, part := range parts {
 		size += len(part)
 	}
-	frame := make([]byte, 0, 5+size)
-	frame = binary.BigEndian.AppendUint32(append(frame, kind), uint32(size))
+	message := make([]byte, 0, messageHeaderSize+size)
+	message = append(message, byte(kind))
+	message = binary.BigEndian.AppendUint32(message, uint32(size))
 	for _, part := range parts {
-		frame = append(frame, part...)
+		message = append(message, part...)
 	}
-	_, err := writer.Write(frame)
+	_, err := writer.Write(message)
 	return err
 }
 
-func writeJSON(writer io.Writer, kind byte, value any) error {
+// writeJSON writes a message with a JSON payload.
+func writeJSON(writer io.Writer, kind messageKind, value any) error {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return err
@@ -91,23 +133,24 @@
 	return writeMessage(writer, kind, encoded)
 }
 
-// hear reads one message of at most so many bytes.
-func readMessage(reader io.Reader, maxSize int) (kind byte, payload []byte, err error) {
-	var header [5]byte
+// readMessage reads one message. It is an error if the payload is longer than maxSize.
+func readMessage(reader io.Reader, maxSize int) (kind messageKind, payload []byte, err error) {
+	var header [messageHeaderSize]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
 		return 0, nil, err
 	}
+	kind = messageKind(header[0])
 	size := binary.BigEndian.Uint32(header[1:])
 	if uint64(size) > uint64(maxSize) {
-		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are taken", header[0], size, maxSize)
+		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are accepted", kind, size, maxSize)
 	}
 	payload = make([]byte, size)
 	_, err = io.ReadFull(reader, payload)
-	return header[0], payload, err
+	return kind, payload, err
 }
 
-// hearJSON reads a message of that kind.
-func readJSON(reader io.Reader, want byte, value any) error {
+// readJSON reads a message of that kind with a JSON payload.
+func readJSON(reader io.Reader, want messageKind, value any) error {
 	kind, payload, err := readMessage(reader, maxControlSize)
 	if err != nil {
 		return err
@@ -117,3 +160,23 @@
 	}
 	return json.Unmarshal(payload, value)
 }
+
+// encodeEntryHeader returns the head of msgEntry's payload: the entry's index, eight bytes,
+// big-endian, and the chain's hash with it. The entry follows.
+func encodeEntryHeader(entry *committedEntry) []byte {
+	header := make([]byte, 0, entryHeaderSize)
+	header = binary.BigEndian.AppendUint64(header, entry.index)
+	return append(header, entry.hash[:]...)
+}
+
+// decodeEntry reads msgEntry's payload. The entry shares its memory.
+func decodeEntry(payload []byte) (committedEntry, error) {
+	if len(payload) < entryHeaderSize {
+		return committedEntry{}, fmt.Errorf("an entry of %d bytes", len(payload))
+	}
+	return committedEntry{
+		index: binary.BigEndian.Uint64(payload),
+		hash:  logentry.Hash(payload[8:entryHeaderSize]),
+		raw:   payload[entryHeaderSize:],
+	}, nil
+}
--- a/internal/fleet/replog/propose.go
+++ b/internal/fleet/replog/propose.go
@@ -12,24 +12,25 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// ErrUnknown is that a proposal may have become part of the log, or may yet: its answer was
-// lost. The state tells in time.
+// ErrOutcomeUnknown reports that a proposal may have become part of the log, or may yet: its
+// answer was lost. The state will show it.
 var ErrOutcomeUnknown = errors.New("what became of the entry is not known")
 
 var (
-	errNotLeader = errors.New("it does not lead")
-	errBusy      = errors.New("too many proposals are under way there")
+	errNotLeader = errors.New("not the leader")
+	errBusy      = errors.New("too many proposals in flight")
 )
 
 const (
-	maxProposals   = 64              // under way at the leader
-	requestTimeout = 5 * time.Second // for an answer
+	maxProposals   = 64              // in flight at the leader
+	requestTimeout = 5 * time.Second // for a proposal or a voterRequest, to the answer
 )
 
-// Propose brings an entry to the leader and returns what became of it, once it is committed
-// and applied there. An entry that would not be taken is mostly refused before it is logged:
-// then Outcome.Index is 0. It is never sent twice: an answer that is lost is ErrUnknown; any
-// other error says that it is no part of the log. It waits 5 s at most.
+// Propose brings an entry to the leader and returns the outcome, once the entry is committed
+// and applied there. An entry that would not be accepted is mostly rejected before it is
+// logged: then Outcome.Index is 0. It is never sent twice: if its answer is lost, the error
+// is ErrOutcomeUnknown. Any other error says that the entry is not part of the log. Propose
+// returns within 5 s.
 func (r *Replica) Propose(ctx context.Context, entry logentry.Entry) (logentry.Outcome, error) {
 	raw, err := json.Marshal(&entry)
 	if err != nil {
@@ -40,44 +41,55 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	lastErr := errors.New("no leader is known")
-	for leaderHint, attempt := "", 0; ; attempt++ {
-		leader := leaderHint
-		if leader == "" {
-			leader = r.View().Leader
-		}
-		target, ok := r.options.findVoter(leader)
-		if !ok || attempt%2 == 1 && leaderHint == "" { // what is known may be old: any voter may know better
-			target = r.options.Voters[attempt/2%len(r.options.Voters)]
-		}
-		var result proposalResult
-		if target.Name == r.self.Name {
-			result = r.proposeLocally(ctx, raw)
-		} else {
-			result = r.forwardProposal(ctx, target, raw)
-		}
-		switch {
-		case result.OutcomeUnknown:
+	leaderHint := ""
+	for attempt := 0; ; attempt++ {
+		target := r.proposalTarget(leaderHint, attempt)
+		result := r.proposeTo(ctx, target, raw)
+		if result.OutcomeUnknown {
 			return logentry.Outcome{}, fmt.Errorf("%w: %s: %s", ErrOutcomeUnknown, target.Name, result.Error)
-		case result.Error == "":
+		}
+		if result.Error == "" {
 			return result.Outcome, nil
 		}
-		lastErr = fmt.Errorf("%s: %s", target.Name, result.Error)
-		if leaderHint = result.Leader; leaderHint == target.Name {
+		leaderHint = result.Leader
+		if leaderHint == target.Name {
 			leaderHint = ""
 		}
-		if leaderHint != "" && attempt%4 != 3 { // two may hold each other for the leader
+		if leaderHint != "" && attempt%4 != 3 { // two may take each other for the leader
 			continue
 		}
 		select {
 		case <-time.After(retryInterval):
 		case <-ctx.Done():
-			return logentry.Outcome{}, fmt.Errorf("not proposed: %w: %w", ctx.Err(), lastErr)
+			return logentry.Outcome{}, fmt.Errorf("not proposed: %w: %s: %s", ctx.Err(), target.Name, result.Error)
 		}
 	}
 }
 
-// send asks another member. Up to the moment that the entry goes out its faults are sure.
+// proposalTarget returns the voter to send a proposal to. Without a hint each second attempt
+// goes to the voters in turn, since the leader known here may be out of date.
+func (r *Replica) proposalTarget(leaderHint string, attempt int) Voter {
+	leader := leaderHint
+	if leader == "" {
+		leader = r.View().Leader
+	}
+	target, ok := r.options.findVoter(leader)
+	if ok && (leaderHint != "" || attempt%2 == 0) {
+		return target
+	}
+	return r.options.Voters[attempt/2%len(r.options.Voters)]
+}
+
+// proposeTo proposes an entry at a voter, which may be this one.
+func (r *Replica) proposeTo(ctx context.Context, target Voter, raw []byte) proposalResult {
+	if target.Name == r.self.Name {
+		return r.proposeLocally(ctx, raw)
+	}
+	return r.forwardProposal(ctx, target, raw)
+}
+
+// forwardProposal sends an entry to another voter. Until the entry is sent an error says
+// that it is not part of the log.
 func (r *Replica) forwardProposal(ctx context.Context, target Voter, raw []byte) (result proposalResult) {
 	conn, err := r.transport.dial(ctx, target.Addr, purposePropose, r.options.peerTimeout()/2)
 	if err != nil {
@@ -94,7 +106,7 @@
 	return result
 }
 
-// answerProposal serves one proposal of another member.
+// serveProposal answers one proposal that another member has forwarded.
 func (r *Replica) serveProposal(ctx context.Context, conn *sealedConn) {
 	kind, raw, err := readMessage(conn, maxEntryMessageSize)
 	if err != nil || kind != msgProposal {
@@ -105,7 +117,7 @@
 	_ = writeJSON(conn, msgProposalResult, r.proposeLocally(ctx, raw))
 }
 
-// decide proposes an entry here, if this member leads.
+// proposeLocally proposes an entry here, if this member leads.
 func (r *Replica) proposeLocally(ctx context.Context, raw []byte) proposalResult {
 	raftNode := r.raft.Load()
 	if raftNode == nil || raftNode.State() != raft.Leader {
@@ -117,7 +129,7 @@
 		return proposalResult{Error: errBusy.Error()}
 	}
 	done := make(chan proposalResult, 1)
-	go func() { // ends with its raft, at the latest when that steps down
+	go func() { // ends when raft answers, at the latest when that shuts down
 		defer func() { <-r.proposalSlots }()
 		done <- r.commitEntry(raftNode, raw)
 	}()
@@ -129,12 +141,12 @@
 	}
 }
 
-// commit takes an entry through raft. What would not be taken is refused at once, by a state
-// that a barrier has brought up to date: VerifyLeader is not enough, as an answer to a
-// heartbeat from before this process was stopped for a while can confirm it.
+// commitEntry takes an entry through raft. One that would not be accepted is rejected at
+// once, by a state that a barrier has brought up to date. VerifyLeader would not do: the
+// answer to a heartbeat from before this process was stopped for a while can confirm it.
 func (r *Replica) commitEntry(raftNode *raft.Raft, raw []byte) proposalResult {
-	if r.IsLeader() && r.publisher.view.Load().State.Check(raw) != nil && raftNode.Barrier(requestTimeout).Error() == nil {
-		if err := r.publisher.view.Load().State.Check(raw); err != nil {
+	if r.IsLeader() && r.checkEntry(raw) != nil && raftNode.Barrier(requestTimeout).Error() == nil {
+		if err := r.checkEntry(raw); err != nil {
 			return proposalResult{Outcome: logentry.Outcome{Reason: err.Error()}}
 		}
 	}
@@ -145,12 +157,21 @@
 		return proposalResult{Outcome: outcome}
 	}
 	future := raftNode.Apply(raw, requestTimeout)
-	switch err := future.Error(); {
-	case err == nil:
+	err := future.Error()
+	if err == nil {
 		return proposalResult{Outcome: future.Response().(logentry.Outcome)}
-	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrEnqueueTimeout), errors.Is(err, raft.ErrLeadershipTransferInProgress):
-		return proposalResult{Error: err.Error()}
-	default:
-		return proposalResult{OutcomeUnknown: true, Error: err.Error()}
 	}
+	return proposalResult{OutcomeUnknown: !isNeverLogged(err), Error: err.Error()}
+}
+
+// checkEntry reports why the state known here would not accept an entry.
+func (r *Replica) checkEntry(raw []byte) error {
+	return r.publisher.view.Load().State.Check(raw)
+}
+
+// isNeverLogged reports whether raft's error says that the entry is not part of the log.
+func isNeverLogged(err error) bool {
+	return errors.Is(err, raft.ErrNotLeader) ||
+		errors.Is(err, raft.ErrEnqueueTimeout) ||
+		errors.Is(err, raft.ErrLeadershipTransferInProgress)
 }
--- a/internal/fleet/replog/publisher.go
+++ b/internal/fleet/replog/publisher.go
@@ -8,48 +8,39 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// Bounds on the entries that are kept to be served; who is further behind gets a whole state.
+// Bounds on the committed entries kept for followers; one that is further behind is sent
+// the whole state.
 const (
 	maxKeptEntries = 4096
 	maxKeptBytes   = 16 << 20
 )
 
-// View is what a member knows at one time.
-type View struct {
-	State         *logentry.State
-	ConfirmedAt   time.Time // when a leader's word was last known to hold; by the monotonic clock
-	WithinLease   bool      // that was within the lease
-	Role          string    // leader, voter, follower; waiting or memory for a voter without a vote
-	Leader        string    // its name, as far as known
-	DiskError     string    // what is wrong with the disk; empty for nothing
-	Path          []string  // by which the word came: from the leader to the upstream
-	FollowerCount int       // followers that ask this member
-}
-
-// line is one committed entry.
+// committedEntry is one committed entry, as followers are sent it.
 type committedEntry struct {
 	index uint64
-	hash  logentry.Hash // of the chain after it
+	hash  logentry.Hash // of the chain, with this entry in it
 	raw   []byte
 }
 
-// hub holds the view and wakes who waits for its next change.
+// publisher holds the view and the last committed entries, and wakes those who wait for a
+// change. Its methods may be called from any goroutine.
 type publisher struct {
 	view            atomic.Pointer[View]
 	mu              sync.Mutex
-	entries         []committedEntry // consecutive, the last is the view's
+	entries         []committedEntry // consecutive; the last one's index is the view's
 	entryBytes      int
-	viewChanged     chan struct{} // closed when the view changes in more than its age
-	anythingChanged chan struct{} // closed when it changes at all
+	viewChanged     chan struct{} // closed when the view changes in more than ConfirmedAt and Path
+	anythingChanged chan struct{} // closed when the view changes at all
 }
 
 func newPublisher(initial *logentry.State) *publisher {
 	p := &publisher{viewChanged: make(chan struct{}), anythingChanged: make(chan struct{})}
-	p.view.Store(&View{State: initial, Role: "follower"})
+	p.view.Store(&View{State: initial, Role: RoleFollower})
 	return p
 }
 
-// edit publishes a changed copy of the view. The lock is held.
+// publish replaces the view by an edited copy and wakes waiters: those for viewChanged only
+// if notify is set. The caller holds mu.
 func (p *publisher) publish(edit func(*View), notify bool) {
 	view := *p.view.Load()
 	edit(&view)
@@ -62,14 +53,15 @@
 	}
 }
 
-// change edits what is said beside the state.
+// updateView edits the parts of the view other than state and confirmation.
 func (p *publisher) updateView(edit func(*View)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.publish(edit, true)
 }
 
-// put publishes the state after an entry, unless a later one is known.
+// publishState publishes a state unless a later one is known. raw is the entry that led to
+// it; nil stands for a state that was received whole.
 func (p *publisher) publishState(next *logentry.State, raw []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,23 +69,29 @@
 	if next.Index <= current {
 		return
 	}
-	if next.Index != current+1 {
+	if next.Index != current+1 || raw == nil {
 		p.entries, p.entryBytes = nil, 0
 	}
 	if raw != nil {
-		p.entries, p.entryBytes = append(p.entries, committedEntry{next.Index, next.Hash, raw}), p.entryBytes+len(raw)
-	} else {
-		p.entries, p.entryBytes = nil, 0
+		p.entries = append(p.entries, committedEntry{next.Index, next.Hash, raw})
+		p.entryBytes += len(raw)
 	}
+	p.dropOldEntries()
+	p.publish(func(v *View) { v.State = next }, true)
+}
+
+// dropOldEntries keeps the entries within their bounds. The caller holds mu.
+func (p *publisher) dropOldEntries() {
 	dropped := 0
-	for ; len(p.entries)-dropped > maxKeptEntries || p.entryBytes > maxKeptBytes; dropped++ {
+	for len(p.entries)-dropped > maxKeptEntries || p.entryBytes > maxKeptBytes {
 		p.entryBytes -= len(p.entries[dropped].raw)
+		dropped++
 	}
 	p.entries = p.entries[dropped:]
-	p.publish(func(v *View) { v.State = next }, true)
 }
 
-// heard notes that a leader's word held at a time, and the way that it came.
+// confirmLeader notes that the leader was known to lead at a time, and by which members
+// this was received. An empty leader leaves the one that is known.
 func (p *publisher) confirmLeader(at time.Time, leader string, path []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,7 +107,8 @@
 	}, leader != "" && leader != old.Leader)
 }
 
-// since returns the entries after an index; not ok if some are not kept any more.
+// entriesAfter returns the committed entries after an index. ok is false if some of them
+// are not kept any more.
 func (p *publisher) entriesAfter(index uint64) (entries []committedEntry, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -123,7 +122,7 @@
 	return nil, false
 }
 
-// hash returns the chain's hash after an index, if it is still known.
+// hashAt returns the chain's hash at an index, if it is still known.
 func (p *publisher) hashAt(index uint64) (logentry.Hash, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -136,6 +135,7 @@
 	return logentry.Hash{}, false
 }
 
+// changes returns the channels that are closed at the next change.
 func (p *publisher) changes() (viewChanged, anythingChanged <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fleet/replog/ranking.go
+++ b/internal/fleet/replog/ranking.go
@@ -6,9 +6,10 @@
 	"slices"
 )
 
-// fan is how many followers a member serves; voters are served beside them.
+// maxFollowers is how many followers without a vote a member serves; voters come on top.
 const maxFollowers = 8
 
+// hashWeight returns a hash of the parts that is the same at all members.
 func hashWeight(parts ...string) uint64 {
 	hasher := fnv.New64a()
 	for _, part := range parts {
@@ -21,59 +22,81 @@
 	return mixed ^ mixed>>33
 }
 
-// order says whom a member asks for the record, the best first. The fleet stands in layers:
-// voters, then so many members as the voters that don't lead can serve, then so many as
-// these can, by a hash of the name. A member asks the layer above its own, in an order that
-// is its own (rendezvous), then those nearer to the leader, then the leader, and in need its
-// own layer and those below, where the word's path tells of a circle. The first so many suit
-// it; whom it asks behind them it leaves again when it can.
+// rankUpstreams returns the members that self may follow, the best first, and how many of
+// them are preferred: from any other, self moves on when it can.
+//
+// The fleet forms layers, by a hash of the members' names: the voters, then as many members
+// as the voters other than the leader can serve, then as many as these can serve. A member
+// tries the layer above its own, in an order of its own (rendezvous hashing), then those
+// nearer to the leader, then the leader. Last come its own layer and those below, where a
+// heartbeat's path shows a cycle. A voter prefers the leader.
 func rankUpstreams(self string, voters []Voter, peers []Peer, leader string) (candidates []Peer, preferred int) {
 	isVoter := map[string]bool{}
-	var above []Peer
-	var leaders []Peer
+	var leaders, otherVoters []Peer
 	for _, v := range voters {
 		isVoter[v.Name] = true
-		switch {
-		case v.Name == self:
-		case v.Name == leader:
-			leaders = append(leaders, Peer{Name: v.Name, Addr: v.Addr})
+		peer := Peer{Name: v.Name, Addr: v.Addr}
+		switch v.Name {
+		case self:
+		case leader:
+			leaders = append(leaders, peer)
 		default:
-			above = append(above, Peer{Name: v.Name, Addr: v.Addr})
+			otherVoters = append(otherVoters, peer)
 		}
 	}
-	sortByOwnOrder := func(candidates []Peer) {
-		slices.SortFunc(candidates, func(a, b Peer) int { return cmp.Compare(hashWeight(self, a.Name), hashWeight(self, b.Name)) })
+	sortRendezvous(self, otherVoters)
+	members := sortedMembers(self, peers, isVoter)
+	if isVoter[self] { // raft connects it with the leader anyway
+		others := slices.DeleteFunc(members, func(p Peer) bool { return p.Name == self })
+		sortRendezvous(self, others)
+		return slices.Concat(leaders, otherVoters, others), len(leaders)
 	}
-	sortByOwnOrder(above)
-	others := []Peer{{Name: self}}
+	above, below := splitLayers(self, members, max(len(voters)-1, 1)*maxFollowers)
+	nearestFirst := append([][]Peer{otherVoters}, above...)
+	slices.Reverse(nearestFirst)
+	return slices.Concat(slices.Concat(nearestFirst...), leaders, below), len(nearestFirst[0])
+}
+
+// sortRendezvous sorts peers in an order that is self's own.
+func sortRendezvous(self string, peers []Peer) {
+	slices.SortFunc(peers, func(a, b Peer) int {
+		return cmp.Compare(hashWeight(self, a.Name), hashWeight(self, b.Name))
+	})
+}
+
+// sortedMembers returns self and the reachable peers without a vote, in the order in which
+// all members put them.
+func sortedMembers(self string, peers []Peer, isVoter map[string]bool) []Peer {
+	members := []Peer{{Name: self}}
 	for _, p := range peers {
 		if !isVoter[p.Name] && p.Name != self && p.Addr != "" {
-			others = append(others, p)
+			members = append(members, p)
 		}
 	}
-	slices.SortFunc(others, func(a, b Peer) int {
+	slices.SortFunc(members, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(hashWeight(a.Name), hashWeight(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	if isVoter[self] { // it speaks with the leader anyway
-		others = slices.DeleteFunc(others, func(p Peer) bool { return p.Name == self })
-		sortByOwnOrder(others)
-		return slices.Concat(leaders, above, others), len(leaders)
-	}
-	nearer := [][]Peer{above}
-	var below []Peer
-	for capacity, reachedOwnLayer := max(len(voters)-1, 1)*maxFollowers, false; len(others) > 0; capacity *= maxFollowers {
-		layer := slices.Clone(others[:min(capacity, len(others))])
-		others = others[len(layer):]
+	return members
+}
+
+// splitLayers cuts the members into layers, of which the first has room for capacity and
+// each other for maxFollowers times as many as the one before. It returns the layers above
+// self's, from the top, and the members of self's own and the lower ones without self.
+func splitLayers(self string, members []Peer, capacity int) (above [][]Peer, below []Peer) {
+	reachedOwnLayer := false
+	for len(members) > 0 {
+		layer := slices.Clone(members[:min(capacity, len(members))])
+		members = members[len(layer):]
 		if position := slices.IndexFunc(layer, func(p Peer) bool { return p.Name == self }); position >= 0 {
 			layer, reachedOwnLayer = slices.Delete(layer, position, position+1), true
 		}
-		sortByOwnOrder(layer)
+		sortRendezvous(self, layer)
 		if reachedOwnLayer {
 			below = append(below, layer...)
 		} else {
-			nearer = append(nearer, layer)
+			above = append(above, layer)
 		}
+		capacity *= maxFollowers
 	}
-	slices.Reverse(nearer)
-	return slices.Concat(slices.Concat(nearer...), leaders, below), len(nearer[0])
+	return above, below
 }
--- a/internal/fleet/replog/sealedconn_test.go
+++ b/internal/fleet/replog/sealedconn_test.go
@@ -79,7 +79,7 @@
 
 // Not a byte comes out of a frame that was changed on its way, or sealed with another key.
 func TestRejectsAlteredFrames(t *testing.T) {
-	const greeting = len(magic) + nonceSize
+	const greeting = len(handshakeMagic) + nonceSize
 	text := []byte("an entry of the record")
 	cases := map[string]struct {
 		key string
--- a/internal/fleet/replog/snapshot.go
+++ b/internal/fleet/replog/snapshot.go
@@ -2,25 +2,23 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 
 	"github.com/hashicorp/raft"
 
-	"coralrelay/internal/fleet/logentry"
 	"coralrelay/internal/store"
 )
 
-// snapshot is raft's, whole in memory: states are small. There is one; the next takes its
-// place in one transaction.
+// snapshot is raft's snapshot, whole in memory since states are small. A store holds one;
+// the next one replaces it in one transaction.
 type snapshot struct {
 	Meta raft.SnapshotMeta `json:"Meta"`
-	Data []byte            `json:"Data"` // a sealed state
+	Data []byte            `json:"Data"` // a state as encodeState returns it
 }
 
+// index returns the index of the last entry in the snapshot, 0 for no snapshot.
 func (s *snapshot) index() uint64 {
 	if s == nil {
 		return 0
@@ -28,6 +26,7 @@
 	return s.Meta.Index
 }
 
+// decodeSnapshot reads a stored snapshot and checks the state in it.
 func decodeSnapshot(encoded []byte) (*snapshot, error) {
 	decoded := &snapshot{}
 	if err := json.Unmarshal(encoded, decoded); err != nil {
@@ -39,45 +38,31 @@
 	return decoded, nil
 }
 
-// sealState writes a state: the sum of its JSON, and that.
-func encodeState(state *logentry.State) ([]byte, error) {
-	text, err := json.Marshal(state)
-	if err != nil {
-		return nil, err
-	}
-	sum := sha256.Sum256(text)
-	return append(sum[:], text...), nil
-}
-
-func decodeState(encoded []byte) (*logentry.State, error) {
-	if len(encoded) < sha256.Size || len(encoded) > maxStateSize {
-		return nil, fmt.Errorf("state: %d bytes", len(encoded))
-	}
-	if sum := sha256.Sum256(encoded[sha256.Size:]); !bytes.Equal(sum[:], encoded[:sha256.Size]) {
-		return nil, errors.New("state: its sum is not good")
-	}
-	state := &logentry.State{}
-	if err := logentry.UnmarshalStrict(encoded[sha256.Size:], state); err != nil {
-		return nil, fmt.Errorf("state: %w", err)
-	}
-	return state, nil
-}
-
-// sink takes a snapshot that is being made or received.
+// snapshotSink collects a snapshot that is being taken, or received from the leader.
 type snapshotSink struct {
 	bytes.Buffer
 	store *voterStore
 	meta  raft.SnapshotMeta
-	done  bool
+	done  bool // closed or cancelled
 }
 
-// Create begins a snapshot.
-func (s *voterStore) Create(version raft.SnapshotVersion, index, term uint64, configuration raft.Configuration, configurationIndex uint64, _ raft.Transport) (raft.SnapshotSink, error) {
-	return &snapshotSink{store: s, meta: raft.SnapshotMeta{Version: version, ID: fmt.Sprintf("%d-%d", term, index), Index: index, Term: term,
-		Configuration: configuration, ConfigurationIndex: configurationIndex}}, nil
+// Create begins a snapshot: it is raft.SnapshotStore's.
+func (s *voterStore) Create(
+	version raft.SnapshotVersion, index, term uint64,
+	configuration raft.Configuration, configurationIndex uint64, _ raft.Transport,
+) (raft.SnapshotSink, error) {
+	meta := raft.SnapshotMeta{
+		Version:            version,
+		ID:                 fmt.Sprintf("%d-%d", term, index),
+		Index:              index,
+		Term:               term,
+		Configuration:      configuration,
+		ConfigurationIndex: configurationIndex,
+	}
+	return &snapshotSink{store: s, meta: meta}, nil
 }
 
-// Write takes a part.
+// Write appends a part.
 func (s *snapshotSink) Write(p []byte) (int, error) {
 	if s.Len()+len(p) > maxStateSize {
 		return 0, fmt.Errorf("snapshot: over %d bytes", maxStateSize)
@@ -85,13 +70,16 @@
 	return s.Buffer.Write(p)
 }
 
-// ID names the snapshot.
+// ID returns the snapshot's name: its term and index.
 func (s *snapshotSink) ID() string { return s.meta.ID }
 
-// Cancel drops it.
-func (s *snapshotSink) Cancel() error { s.done = true; return nil }
+// Cancel drops the snapshot.
+func (s *snapshotSink) Cancel() error {
+	s.done = true
+	return nil
+}
 
-// Close puts it in the place of the one before.
+// Close checks the snapshot and stores it in place of the previous one.
 func (s *snapshotSink) Close() error {
 	if s.done {
 		return nil
@@ -106,11 +94,14 @@
 	if err != nil {
 		return err
 	}
-	return s.store.update("snapshot", func(tx *store.Tx) error { return tx.Bucket(snapshotBucket).Put(snapshotKey, text) },
-		func() { s.store.snapshot = complete })
+	return s.store.update("snapshot", func(tx *store.Tx) error {
+		return tx.Bucket(snapshotBucket).Put(snapshotKey, text)
+	}, func() {
+		s.store.snapshot = complete
+	})
 }
 
-// List returns the one there is.
+// List returns the snapshot's metadata, if there is a snapshot.
 func (s *voterStore) List() ([]*raft.SnapshotMeta, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -121,7 +112,7 @@
 	return []*raft.SnapshotMeta{&meta}, nil
 }
 
-// Open reads it.
+// Open returns the snapshot of that ID.
 func (s *voterStore) Open(id string) (*raft.SnapshotMeta, io.ReadCloser, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -12,32 +12,40 @@
 	"coralrelay/internal/store"
 )
 
+// stateFileName is the state file's name in Options.Dir.
+const stateFileName = "state.db"
+
+// diskRetryInterval is the least time between two writes of the state, and how soon a disk
+// that failed is tried again.
+const diskRetryInterval = time.Second
+
+// The bucket and key of the state file.
 var (
 	stateBucket = []byte("state")
 	stateKey    = []byte("last")
 )
 
-var stateSchema = store.Schema{Kind: "fleet-state", Migrations: []func(*store.Tx) error{func(tx *store.Tx) error {
+var stateSchema = store.Schema{Kind: "fleet-state", Migrations: []func(*store.Tx) error{createStateBucket}}
+
+func createStateBucket(tx *store.Tx) error {
 	_, err := tx.CreateBucket(stateBucket)
 	return err
-}}}
-
-// again is how soon after a write the next is made, and a disk that failed is tried.
-const diskRetryInterval = time.Second
+}
 
-// stateFile keeps the last known state on disk, so that a member that starts alone has
-// something to go by. Nothing is promised by it: it may be behind. One goroutine uses it.
+// stateFile keeps the last known state on disk, so that a member that starts without any
+// peer has a state to act on. No vote rests on it: it may be behind. One goroutine uses it.
 type stateFile struct {
 	replica      *Replica
-	store        *store.Store
-	writtenIndex uint64
-	failing      bool // said once
+	store        *store.Store // nil while the file is not open
+	writtenIndex uint64       // of the state in the file
+	failing      bool         // the failure was reported
 }
 
-func (f *stateFile) path() string { return filepath.Join(f.replica.options.Dir, "state.db") }
+func (f *stateFile) path() string { return filepath.Join(f.replica.options.Dir, stateFileName) }
 
-// open opens the file, if it is not open, and returns the state in it, if there is one.
-func (f *stateFile) open() (state *logentry.State, err error) {
+// open opens the file unless it is open, and returns the state in it, nil if there is none.
+// A file that can't be trusted is moved aside, and a fresh one takes its place.
+func (f *stateFile) open() (*logentry.State, error) {
 	if f.store != nil {
 		return nil, nil
 	}
@@ -50,21 +58,9 @@
 			return nil, err
 		}
 		if file.QuarantinePath != "" {
-			slog.Warn("record: state set aside", "why", file.QuarantineReason, "as", file.QuarantinePath)
-		}
-		var encoded []byte
-		err = file.View(func(tx *store.Tx) error {
-			encoded = append(encoded, tx.Bucket(stateBucket).Get(stateKey)...)
-			return nil
-		})
-		label := "torn"
-		if err == nil && len(encoded) > 0 {
-			if state, err = decodeState(encoded); err == nil {
-				if err = state.AttachGenesis(f.replica.options.Genesis); err != nil {
-					label = "foreign"
-				}
-			}
+			slog.Warn("state file quarantined", component, "reason", file.QuarantineReason, "path", file.QuarantinePath)
 		}
+		state, label, err := f.read(file)
 		if err == nil {
 			f.store = file
 			return state, nil
@@ -74,11 +70,33 @@
 		if renameErr != nil {
 			return nil, errors.Join(err, renameErr)
 		}
-		slog.Warn("record: state set aside", "why", err, "as", quarantinePath)
+		slog.Warn("state file quarantined", component, "reason", err, "path", quarantinePath)
 	}
 	return nil, fmt.Errorf("store %s: a fresh one is bad too", f.path())
 }
 
+// read returns the state in an open file, nil if there is none. With an error comes the
+// label under which the file is to be moved aside.
+func (f *stateFile) read(file *store.Store) (state *logentry.State, label string, err error) {
+	var encoded []byte
+	err = file.View(func(tx *store.Tx) error {
+		encoded = append(encoded, tx.Bucket(stateBucket).Get(stateKey)...)
+		return nil
+	})
+	if err != nil || len(encoded) == 0 {
+		return nil, "torn", err
+	}
+	state, err = decodeState(encoded)
+	if err != nil {
+		return nil, "torn", err
+	}
+	if err = state.AttachGenesis(f.replica.options.Genesis); err != nil {
+		return nil, "foreign", err
+	}
+	return state, "", nil
+}
+
+// load publishes the state in the file, if there is one.
 func (f *stateFile) load() {
 	state, err := f.open()
 	if err == nil && state != nil {
@@ -88,7 +106,8 @@
 	f.reportResult(err)
 }
 
-// run writes the state when it has changed, at most once in a while, and at the end.
+// run writes the state after it has changed, at most once in diskRetryInterval, until ctx
+// ends; then it writes the last state and closes the file.
 func (f *stateFile) run(ctx context.Context) {
 	ticker := time.NewTicker(diskRetryInterval)
 	defer ticker.Stop()
@@ -102,7 +121,7 @@
 		changed := f.replica.Changed()
 		f.write()
 		select {
-		case <-ticker.C: // the disk may have come back
+		case <-ticker.C: // the disk may be usable again
 		case <-changed:
 		case <-ctx.Done():
 			return
@@ -115,6 +134,7 @@
 	}
 }
 
+// write writes the state if it is later than the one in the file.
 func (f *stateFile) write() {
 	_, err := f.open()
 	state := f.replica.publisher.view.Load().State
@@ -122,37 +142,44 @@
 		f.reportResult(err)
 		return
 	}
-	encoded, err := encodeState(state)
-	if err == nil {
-		if err = f.replica.options.InjectFault("state"); err == nil {
-			err = f.store.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, encoded) })
-		}
-	}
-	if err == nil {
+	if err = f.put(state); err == nil {
 		f.writtenIndex = state.Index
-	} else if f.store != nil { // bbolt is not trusted after a write that failed
+	} else { // bbolt is not trusted after a write that failed
 		_ = f.store.Close()
 		f.store = nil
 	}
 	f.reportResult(err)
 }
 
-// tell says once that the disk fails, and once that it does no more.
+// put writes a state to the open file.
+func (f *stateFile) put(state *logentry.State) error {
+	encoded, err := encodeState(state)
+	if err != nil {
+		return err
+	}
+	if err := f.replica.options.InjectFault("state"); err != nil {
+		return err
+	}
+	return f.store.Update(func(tx *store.Tx) error { return tx.Bucket(stateBucket).Put(stateKey, encoded) })
+}
+
+// reportResult logs and publishes when the disk begins to fail, and when it works again.
 func (f *stateFile) reportResult(err error) {
 	switch {
 	case err != nil && !f.failing:
-		slog.Warn("record: the state can't be written, going on in memory", "err", err)
+		slog.Warn("state file failed, continuing in memory", component, "error", err)
 	case err == nil && f.failing:
-		slog.Info("record: the state is written again")
+		slog.Info("state file works again", component)
 	default:
 		return
 	}
 	f.failing = err != nil
-	if !f.replica.isVoter { // a voter's word is about its votes
+	if !f.replica.isVoter { // a voter's DiskError is about its voterStore
 		f.replica.publisher.updateView(func(v *View) { v.DiskError = errorText(err) })
 	}
 }
 
+// errorText returns the error's text, empty for none.
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -222,7 +222,7 @@
 func TestStoredMessages(t *testing.T) {
 	text := []byte(`{"kind":"settings","by":"m1","at":1,"body":{}}`)
 	messages := []struct {
-		kind  byte
+		kind  messageKind
 		value any
 	}{
 		{msgHello, &hello{Name: "m1", Addr: "127.0.0.1:7001", Index: 258, Hash: storedHash()}},
@@ -254,7 +254,7 @@
 	next, _ := up.View().State.Apply(text)
 	up.publisher.publishState(next, text)
 	line(plaintextOf(t, func(c *sealedConn) error { _, err := up.sendEntriesAfter(c, 0); return err }))
-	line([]byte{purposeRaft, purposeFollow, purposePropose, purposeVoterRequest})
+	line([]byte{byte(purposeRaft), byte(purposeFollow), byte(purposePropose), byte(purposeVoterRequest)})
 
 	stored := storedFile(t, "messages.txt", written.Bytes())
 	if !bytes.Equal(stored, written.Bytes()) {
--- a/internal/fleet/replog/voter.go
+++ b/internal/fleet/replog/voter.go
@@ -4,58 +4,73 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/raft"
 )
 
-// Raft takes a snapshot after so many entries, and keeps as many behind it for voters that
-// were away for a moment.
-const trailingLogs = 1024
+const (
+	// trailingLogs is after how many entries raft takes a snapshot, and how many it keeps
+	// behind one for voters that were away for a moment.
+	trailingLogs = 1024
 
-// longestPause bounds how long a voter waits whose disk comes back and fails again.
-const maxDiskRetryInterval = 30 * time.Second
+	// maxDiskRetryInterval bounds the backoff of a voter whose disk comes back and fails again.
+	maxDiskRetryInterval = 30 * time.Second
 
-// voter keeps this member's vote for as long as its disk can be written. When it can't, the
-// member goes on in memory, as a follower, and tries the disk each second.
+	// raftPoolSize is how many idle connections raft keeps to each voter.
+	raftPoolSize = 3
+)
+
+// runVoter keeps this member's vote for as long as its disk can be written. When it can't,
+// the member goes on in memory, as a follower, and probes the disk until it can.
 func (r *Replica) runVoter(ctx context.Context) {
-	for retryDelay := diskRetryInterval; ctx.Err() == nil; {
+	retryDelay := diskRetryInterval
+	for ctx.Err() == nil {
 		startedAt := time.Now()
 		err := r.runRaft(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("record: no vote, going on in memory", "err", err)
-		r.publisher.updateView(func(v *View) { v.Role, v.DiskError = "memory", errorText(err) })
+		slog.Warn("voter stopped, continuing in memory without a vote", component, "error", err)
+		r.publisher.updateView(func(v *View) { v.Role, v.DiskError = RoleMemory, errorText(err) })
 		r.reselectUpstream()
 		if time.Since(startedAt) > maxDiskRetryInterval {
 			retryDelay = diskRetryInterval
 		}
-		for tried := false; !tried || r.probeDisk() != nil; tried = true {
-			select {
-			case <-time.After(retryDelay):
-			case <-ctx.Done():
-				return
-			}
+		if !r.awaitDisk(ctx, retryDelay) {
+			return
 		}
 		retryDelay = min(2*retryDelay, maxDiskRetryInterval)
 	}
 }
 
-// probe tells whether the disk takes what a vote would need: fresh blocks, at a place behind
-// all that the store has.
+// awaitDisk probes the disk at an interval until it takes writes. It returns false if ctx
+// ended first.
+func (r *Replica) awaitDisk(ctx context.Context, interval time.Duration) bool {
+	for {
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return false
+		}
+		if r.probeDisk() == nil {
+			return true
+		}
+	}
+}
+
+// probeDisk checks that the disk takes what a vote would need: fresh blocks, at an offset
+// behind all that the store has.
 func (r *Replica) probeDisk() error {
 	if err := r.options.InjectFault("probe"); err != nil {
 		return err
 	}
 	const size = 64 << 10
 	end := int64(0)
-	if info, err := os.Stat(filepath.Join(r.options.Dir, "votes.db")); err == nil {
+	if info, err := os.Stat(filepath.Join(r.options.Dir, votesFileName)); err == nil {
 		end = info.Size()
 	}
 	path := filepath.Join(r.options.Dir, "probe")
@@ -67,40 +82,34 @@
 	return errors.Join(err, file.Sync(), file.Close(), os.Remove(path))
 }
 
-// vote runs raft until ctx ends or the disk fails, and returns why.
+// runRaft runs raft until ctx ends or the disk fails, and returns why.
 func (r *Replica) runRaft(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	layer := newRaftLayer(ctx, r.transport, r.self.Addr)
 	defer func() { _ = layer.Close() }()
-	store, quarantineReason, err := openVoterStore(&r.options, func() { _ = layer.Close() })
+	votes, quarantineReason, err := openVoterStore(&r.options, func() { _ = layer.Close() })
 	if err != nil {
 		return err
 	}
-	defer func() { _ = store.close() }()
+	defer func() { _ = votes.close() }()
 	if quarantineReason != "" {
-		slog.Warn("record: votes set aside", "why", quarantineReason)
+		slog.Warn("voter store quarantined", component, "reason", quarantineReason)
 	}
-	r.voterInfo.Store(&voterInfo{StoreID: store.store.ID.String(), Bootstrapped: !store.isBlank(), BootstrapStores: store.bootstrapStores})
+	storeID := votes.store.ID.String()
+	r.voterInfo.Store(&voterInfo{StoreID: storeID, Bootstrapped: !votes.isBlank(), BootstrapStores: votes.bootstrapStores})
 	defer r.voterInfo.Store(nil)
-	r.publisher.updateView(func(v *View) { v.Role, v.DiskError = "waiting", "" })
-	if err := r.join(ctx, store); err != nil {
+	r.publisher.updateView(func(v *View) { v.Role, v.DiskError = RoleWaiting, "" })
+	if err := r.join(ctx, votes); err != nil {
 		return err
 	}
-	r.voterInfo.Store(&voterInfo{StoreID: store.store.ID.String(), Bootstrapped: true, BootstrapStores: store.bootstrapStores})
+	r.voterInfo.Store(&voterInfo{StoreID: storeID, Bootstrapped: true, BootstrapStores: votes.bootstrapStores})
 
-	config := raft.DefaultConfig()
-	config.LocalID = raft.ServerID(r.self.Name)
-	config.HeartbeatTimeout, config.ElectionTimeout = r.options.electionTimeout(), r.options.electionTimeout()
-	config.LeaderLeaseTimeout, config.CommitTimeout = r.options.electionTimeout()/2, r.options.electionTimeout()/4
-	config.SnapshotThreshold, config.TrailingLogs, config.SnapshotInterval = trailingLogs, trailingLogs, 15*r.options.Lease
-	config.ShutdownOnRemove = false
 	leadership := make(chan bool, 8)
-	config.NotifyCh = leadership
-	config.LogOutput, config.LogLevel = debugWriter{r.options.RaftLogOutput}, "INFO"
-	raftTransport := raft.NewNetworkTransport(layer, 3, r.options.peerTimeout(), debugWriter{r.options.RaftLogOutput})
+	config := r.raftConfig(leadership)
+	raftTransport := raft.NewNetworkTransport(layer, raftPoolSize, r.options.peerTimeout(), config.LogOutput)
 	defer func() { _ = raftTransport.Close() }()
-	raftNode, err := raft.NewRaft(config, &stateMachine{r, r.initialState}, store, store, store, raftTransport)
+	raftNode, err := raft.NewRaft(config, &stateMachine{r, r.initialState}, votes, votes, votes, raftTransport)
 	if err != nil {
 		return fmt.Errorf("raft: %w", err)
 	}
@@ -113,105 +122,34 @@
 		r.reselectUpstream()
 	}()
 	leaderChanges := make(chan raft.Observation, 8)
-	observer := raft.NewObserver(leaderChanges, false, func(o *raft.Observation) bool { _, ok := o.Data.(raft.LeaderObservation); return ok })
+	observer := raft.NewObserver(leaderChanges, false, isLeaderObservation)
 	raftNode.RegisterObserver(observer)
 	defer raftNode.DeregisterObserver(observer)
 	r.raft.Store(raftNode)
 	r.raftLayer.Store(layer)
-	return r.superviseRaft(ctx, store, raftNode, leadership, leaderChanges)
+	return r.superviseRaft(ctx, raftNode, votes, raftEvents{leadership, leaderChanges})
 }
 
-// stand follows raft's changes until the disk fails.
-func (r *Replica) superviseRaft(ctx context.Context, store *voterStore, raftNode *raft.Raft, leadership <-chan bool, leaderChanges <-chan raft.Observation) error {
-	confirmationEnded := make(chan struct{})
-	defer func() { <-confirmationEnded }()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() { // pulses as long as raft runs; ends with ctx or when raft no longer answers
-		defer close(confirmationEnded)
-		r.confirmLeadership(ctx, raftNode)
-	}()
-	ticker := time.NewTicker(r.options.electionTimeout())
-	defer ticker.Stop()
-	for {
-		r.publishRole(raftNode)
-		select {
-		case <-leadership:
-			r.publishRole(raftNode)
-			r.reselectUpstream()
-		case <-leaderChanges:
-			r.publishRole(raftNode)
-			r.reselectUpstream()
-		case <-ticker.C:
-			r.requestPromotion(ctx, raftNode)
-		case <-store.failed:
-			store.writeMu.Lock()
-			defer store.writeMu.Unlock()
-			return store.writeErr
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// show brings role and leader into the view.
-func (r *Replica) publishRole(raftNode *raft.Raft) {
-	_, leader := raftNode.LeaderWithID()
-	role := "voter"
-	switch {
-	case r.IsLeader():
-		role = "leader"
-	case !hasVote(raftNode, r.self.Name):
-		role = "waiting"
-	}
-	v := r.publisher.view.Load()
-	if v.Role == role && (leader == "" || v.Leader == string(leader)) {
-		return
-	}
-	r.publisher.updateView(func(v *View) {
-		v.Role = role
-		if leader != "" {
-			v.Leader = string(leader)
-		}
-	})
-}
-
-// pulses gives the fleet the leader's word while this member leads. A word counts from the
-// moment before a majority confirmed it.
-func (r *Replica) confirmLeadership(ctx context.Context, raftNode *raft.Raft) {
-	ticker := time.NewTicker(r.options.heartbeatInterval())
-	defer ticker.Stop()
-	for {
-		if raftNode.State() == raft.Leader {
-			if term := raftNode.CurrentTerm(); r.readyTerm.Load() != term && raftNode.Barrier(r.options.Lease).Error() == nil {
-				r.readyTerm.Store(term)
-				r.publishRole(raftNode)
-				r.reselectUpstream()
-			}
-			confirmedAt := time.Now()
-			if r.IsLeader() && raftNode.VerifyLeader().Error() == nil {
-				r.publisher.confirmLeader(confirmedAt, r.self.Name, nil)
-			}
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+// raftConfig returns raft's configuration; raft reports on leadership whether it leads.
+func (r *Replica) raftConfig(leadership chan<- bool) *raft.Config {
+	electionTimeout := r.options.electionTimeout()
+	config := raft.DefaultConfig()
+	config.LocalID = raft.ServerID(r.self.Name)
+	config.HeartbeatTimeout = electionTimeout
+	config.ElectionTimeout = electionTimeout
+	config.LeaderLeaseTimeout = electionTimeout / 2
+	config.CommitTimeout = electionTimeout / 4
+	config.SnapshotThreshold = trailingLogs
+	config.TrailingLogs = trailingLogs
+	config.SnapshotInterval = 15 * r.options.Lease
+	config.ShutdownOnRemove = false
+	config.NotifyCh = leadership
+	config.LogOutput = raftLogWriter{r.options.RaftLogOutput}
+	config.LogLevel = "INFO"
+	return config
 }
 
-// debugLines passes raft's lines on, each without its time and with its level's place taken.
-type debugWriter struct{ to io.Writer }
-
-func (d debugWriter) Write(b []byte) (int, error) {
-	for _, line := range strings.Split(strings.TrimSpace(string(b)), "\n") {
-		if levelAt := strings.IndexByte(line, '['); levelAt >= 0 {
-			line = line[levelAt:]
-		}
-		if _, err := io.WriteString(d.to, "[DEBUG] record: "+line+"\n"); err != nil {
-			return 0, err
-		}
-	}
-	return len(b), nil
+func isLeaderObservation(observation *raft.Observation) bool {
+	_, ok := observation.Data.(raft.LeaderObservation)
+	return ok
 }
--- a/internal/fleet/replog/voterstore.go
+++ b/internal/fleet/replog/voterstore.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,10 @@
 	"coralrelay/internal/store"
 )
 
+// votesFileName is the voter store's file in Options.Dir.
+const votesFileName = "votes.db"
+
+// The buckets and keys of the voter store.
 var (
 	logsBucket         = []byte("log")
 	stableBucket       = []byte("stable")
@@ -23,38 +28,46 @@
 	bootstrapStoresKey = []byte("founders")
 )
 
-var votesSchema = store.Schema{Kind: "fleet-votes", Migrations: []func(*store.Tx) error{func(tx *store.Tx) error {
+var votesSchema = store.Schema{Kind: "fleet-votes", Migrations: []func(*store.Tx) error{createVotesBuckets}}
+
+func createVotesBuckets(tx *store.Tx) error {
 	for _, name := range [][]byte{logsBucket, stableBucket, snapshotBucket, bootstrapBucket} {
 		if _, err := tx.CreateBucket(name); err != nil {
 			return err
 		}
 	}
 	return nil
-}}}
+}
 
-// disk is what a voter must not forget: its log, its term and vote, a snapshot, and who
-// founded the fleet. All of it is in memory too: raft ends the process where it can't read.
-// After a write that failed nothing is written any more, until it is opened anew.
+// storeIDs maps voters to the IDs of their stores.
+type storeIDs map[string]string
+
+// voterStore is what a voter must not forget: its log, its term and vote, a snapshot, and
+// the stores with which the fleet was bootstrapped. It is raft's LogStore, StableStore and
+// SnapshotStore. All of it is in memory too, since raft panics if it can't read. After a
+// write that failed nothing more is written until the store is opened anew.
 type voterStore struct {
 	store          *store.Store
 	injectFault    func(op string) error
-	cutConnections func()        // called before a write that failed is answered: nothing may go out that rests on it
+	cutConnections func()        // called before a failed write returns: nothing that rests on it may go out
 	failed         chan struct{} // closed at the first failure
-	writeMu        sync.Mutex    // one write at a time; bad is its
+	writeMu        sync.Mutex    // held during a write; guards writeErr
 	writeErr       error
 
-	mu                    sync.RWMutex
-	entries               map[uint64]*raft.Log
-	firstIndex, lastIndex uint64
-	stable                map[string][]byte
-	pendingVoteTerm       []byte // of the term of a vote, until the candidate comes: they are written as one
-	snapshot              *snapshot
-	bootstrapStores       map[string]string
+	mu              sync.RWMutex // guards the copy in memory
+	entries         map[uint64]*raft.Log
+	firstIndex      uint64 // 0 for none
+	lastIndex       uint64 // 0 for none
+	stable          map[string][]byte
+	pendingVoteTerm []byte // a vote's term, until its candidate is known: see Set
+	snapshot        *snapshot
+	bootstrapStores storeIDs
 }
 
-// openDisk opens a voter's store. One that can't be trusted is set aside, and why is told.
-func openVoterStore(options *Options, cutConnections func()) (opened *voterStore, quarantineReason string, err error) {
-	path := filepath.Join(options.Dir, "votes.db")
+// openVoterStore opens a voter's store. One that can't be trusted is moved aside, and
+// quarantineReason says why. cutConnections is called before a failed write returns.
+func openVoterStore(options *Options, cutConnections func()) (s *voterStore, quarantineReason string, err error) {
+	path := filepath.Join(options.Dir, votesFileName)
 	for range 2 {
 		if err := options.InjectFault("open"); err != nil {
 			return nil, "", err
@@ -66,11 +79,18 @@
 		if file.QuarantinePath != "" {
 			quarantineReason = fmt.Sprintf("%v; it is now %s", file.QuarantineReason, file.QuarantinePath)
 		}
-		opened = &voterStore{store: file, injectFault: options.InjectFault, cutConnections: cutConnections, failed: make(chan struct{}), entries: map[uint64]*raft.Log{},
-			stable: map[string][]byte{}, bootstrapStores: map[string]string{}}
-		loadErr := opened.load()
+		s = &voterStore{
+			store:           file,
+			injectFault:     options.InjectFault,
+			cutConnections:  cutConnections,
+			failed:          make(chan struct{}),
+			entries:         map[uint64]*raft.Log{},
+			stable:          map[string][]byte{},
+			bootstrapStores: storeIDs{},
+		}
+		loadErr := s.load()
 		if loadErr == nil {
-			return opened, quarantineReason, nil
+			return s, quarantineReason, nil
 		}
 		_ = file.Close()
 		quarantinePath, err := quarantineFile(path, "torn")
@@ -82,7 +102,8 @@
 	return nil, quarantineReason, fmt.Errorf("store %s: a fresh one is bad too", path)
 }
 
-// setAside moves a store out of the way whose content is bad though its pages are sound.
+// quarantineFile moves a store aside whose content is bad though its pages are sound, and
+// returns its new path, which ends in the label and a number.
 func quarantineFile(path, label string) (string, error) {
 	for n := 1; ; n++ {
 		target := fmt.Sprintf("%s.%s-%d", path, label, n)
@@ -97,27 +118,14 @@
 	}
 }
 
-// read takes all into memory and checks it.
+// load reads everything into memory and checks it.
 func (s *voterStore) load() error {
 	return s.store.View(func(tx *store.Tx) error {
-		err := tx.Bucket(logsBucket).ForEach(func(key, value []byte) error {
-			entry, err := decodeLog(value)
-			if err != nil {
-				return fmt.Errorf("log entry %x: %w", key, err)
-			}
-			if s.lastIndex != 0 && entry.Index != s.lastIndex+1 || len(key) != 8 || binary.BigEndian.Uint64(key) != entry.Index {
-				return fmt.Errorf("log entry %x: calls itself %d, after %d", key, entry.Index, s.lastIndex)
-			}
-			if s.firstIndex == 0 {
-				s.firstIndex = entry.Index
-			}
-			s.entries[entry.Index], s.lastIndex = entry, entry.Index
-			return nil
-		})
-		if err != nil {
+		if err := tx.Bucket(logsBucket).ForEach(s.loadEntry); err != nil {
 			return err
 		}
 		if value := tx.Bucket(snapshotBucket).Get(snapshotKey); value != nil {
+			var err error
 			if s.snapshot, err = decodeSnapshot(value); err != nil {
 				return err
 			}
@@ -137,14 +145,33 @@
 	})
 }
 
-// blank tells whether nothing was ever promised with this store.
+// loadEntry reads one entry of the log, which must follow on the last one.
+func (s *voterStore) loadEntry(key, value []byte) error {
+	entry, err := decodeLog(value)
+	if err != nil {
+		return fmt.Errorf("log entry %x: %w", key, err)
+	}
+	followsLast := s.lastIndex == 0 || entry.Index == s.lastIndex+1
+	if !followsLast || !bytes.Equal(key, logKey(entry.Index)) {
+		return fmt.Errorf("log entry %x: calls itself %d, after %d", key, entry.Index, s.lastIndex)
+	}
+	if s.firstIndex == 0 {
+		s.firstIndex = entry.Index
+	}
+	s.entries[entry.Index] = entry
+	s.lastIndex = entry.Index
+	return nil
+}
+
+// isBlank reports whether this store has never held a term, a vote, an entry or a snapshot.
 func (s *voterStore) isBlank() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return s.lastIndex == 0 && s.snapshot == nil && len(s.stable) == 0
 }
 
-// update writes one transaction and then shows it in memory.
+// update writes one transaction, and then applies it to the copy in memory, with mu held.
+// op names it in errors and to InjectFault. The first failure ends all writing.
 func (s *voterStore) update(op string, write func(*store.Tx) error, applyInMemory func()) error {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
@@ -167,8 +194,15 @@
 	return nil
 }
 
-// found begins a log with its first configuration, in one transaction.
-func (s *voterStore) bootstrap(configuration raft.Configuration, stores map[string]string) error {
+// failure returns why writing has ended.
+func (s *voterStore) failure() error {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	return s.writeErr
+}
+
+// bootstrap begins a log with its first configuration, in one transaction.
+func (s *voterStore) bootstrap(configuration raft.Configuration, stores storeIDs) error {
 	first := &raft.Log{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: raft.EncodeConfiguration(configuration)}
 	encodedStores, err := json.Marshal(stores)
 	if err != nil {
@@ -176,12 +210,18 @@
 	}
 	term := binary.BigEndian.AppendUint64(nil, 1)
 	return s.update("found", func(tx *store.Tx) error {
-		return errors.Join(tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, encodedStores), tx.Bucket(stableBucket).Put(termKey, term),
-			tx.Bucket(logsBucket).Put(binary.BigEndian.AppendUint64(nil, 1), encodeLog(first)))
+		return errors.Join(
+			tx.Bucket(bootstrapBucket).Put(bootstrapStoresKey, encodedStores),
+			tx.Bucket(stableBucket).Put(termKey, term),
+			tx.Bucket(logsBucket).Put(logKey(1), encodeLog(first)),
+		)
 	}, func() {
-		s.bootstrapStores, s.stable[string(termKey)] = stores, term
-		s.entries[1], s.firstIndex, s.lastIndex = first, 1, 1
+		s.bootstrapStores = stores
+		s.stable[string(termKey)] = term
+		s.entries[1] = first
+		s.firstIndex, s.lastIndex = 1, 1
 	})
 }
 
+// close closes the file; nothing of the store may be used after it.
 func (s *voterStore) close() error { return s.store.Close() }
--- a/internal/fleet/replog/voterstore_test.go
+++ b/internal/fleet/replog/voterstore_test.go
@@ -97,9 +97,9 @@
 	f.await(c, "a voter", func(v View) bool { return v.Role == "voter" })
 	for _, m := range []*testMember{a, b} {
 		f.await(m, "with a store", func(View) bool { return m.voterInfo.Load() != nil })
-		founders, lost, _ := m.surveyVoters(t.Context(), m.voterInfo.Load().StoreID)
-		if founders != nil || !lost {
-			t.Errorf("%s: founders %v, lost %v", m.options.Name, founders, lost)
+		survey := m.surveyVoters(t.Context(), m.voterInfo.Load().StoreID)
+		if survey.stores != nil || !survey.storeLost {
+			t.Errorf("%s: %+v", m.options.Name, survey)
 		}
 		if v := m.View(); v.Role == "leader" || v.State.Index != last.Index {
 			t.Errorf("%s: %+v", m.options.Name, v)
