fleet/logentry: one job a file, a step a line, ErrGenesisMismatch is a sentinel

hash.go and change.go come out of entry.go and state.go; evaluate's switch is one method a kind. Comments in plain technical English; the constants name the package whose Change an entry holds. Two texts of errors changed that nothing matches. Bytes, hashes and order are as before. go test ./internal/fleet/logentry passed.

--- a/internal/fleet/logentry/entry.go
+++ b/internal/fleet/logentry/entry.go
@@ -1,58 +1,63 @@
-// Package entry is what the fleet's record holds: typed entries, a chain of hashes over
-// them, and the state that they add up to. Members who have applied the same entries hold
-// the same state, byte for byte: applying reads no clock and no map's order. It does no
-// I/O and starts no goroutine.
+// Package logentry defines what the fleet's replicated log holds: typed entries, a hash
+// chain over them, and the state that they add up to. Members that have applied the same
+// entries hold the same state, byte for byte: applying depends on no clock and on no map's
+// order. The package does no I/O and starts no goroutine.
+//
+// # Errors
+//
+// An entry that is not accepted is no error of Apply: Outcome.Reason says why, in the text
+// that Check returns as an error. AttachGenesis returns ErrGenesisMismatch for a state of
+// another fleet. All other errors report malformed input, and are told apart by nobody.
 package logentry
 
 import (
 	"bytes"
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// Kind is what an entry changes.
+// Kind is which part of the state an entry changes.
 type Kind string
 
-// The kinds of entry. Settings is reserved: no entry of it is taken yet.
+// The kinds of entry, as they are stored.
 const (
-	KindZones     Kind = "zones"
-	KindAccounts  Kind = "accounts"
-	KindContracts Kind = "contracts"
-	KindSettings  Kind = "settings"
+	KindZones     Kind = "zones"     // package zonestatus
+	KindAccounts  Kind = "accounts"  // package account
+	KindContracts Kind = "contracts" // package slo: service level objectives
+	KindSettings  Kind = "settings"  // reserved: none is accepted yet
 )
 
-// Largest is how long an entry may be, in bytes of JSON.
+// MaxSize is how long an entry may be, in bytes of JSON.
 const MaxSize = 256 << 10
 
-// Entry is one change as it is proposed. Its zero Key is nobody's: such an entry is a
-// member's own decision, which only zones and allocations may be.
+// Entry is one change as it is proposed. One without a KeyName is a member's own decision:
+// only zones and the allocations of contracts are decided so, and these only so.
 type Entry struct {
 	Kind       Kind            `json:"kind"`
-	ProposedBy string          `json:"by"`            // the member that took it
-	ProposedAt int64           `json:"at"`            // Unix ms by the proposer's clock; nobody else's is read
+	ProposedBy string          `json:"by"`            // name of the member that an operator sent it to, or that decided it
+	ProposedAt int64           `json:"at"`            // Unix ms by the proposer's clock, the only clock that counts
 	Reason     string          `json:"why,omitempty"` // for people
 	KeyName    string          `json:"key,omitempty"` // name of the key that signs it
-	Signature  []byte          `json:"sig,omitempty"` // of Signed, Ed25519
-	Body       json.RawMessage `json:"body"`          // a Change of the kind's room
+	Signature  []byte          `json:"sig,omitempty"` // Ed25519, over SignedBytes
+	Body       json.RawMessage `json:"body"`          // a Change of the kind's package
 }
 
-// Signed is what a signature is over. By is left out: who signs does not know which member
-// takes it. The body counts as encoding/json writes it, as that is how it travels.
+// SignedBytes returns what a signature is over. ProposedBy is left out: the signer does not
+// know which member will propose the entry. The body counts as encoding/json writes it, since
+// that is how it is sent.
 func (e *Entry) SignedBytes() []byte {
 	var buffer bytes.Buffer
 	body, err := json.Marshal(e.Body)
 	if err != nil {
-		body = e.Body // no JSON, and never taken
+		body = e.Body // malformed, and never accepted
 	}
-	for _, field := range [][]byte{[]byte("coralrelay-entry-1"), []byte(e.Kind), []byte(e.Reason), []byte(e.KeyName), body} {
+	fields := [][]byte{[]byte("coralrelay-entry-1"), []byte(e.Kind), []byte(e.Reason), []byte(e.KeyName), body}
+	for _, field := range fields {
 		_ = binary.Write(&buffer, binary.BigEndian, uint32(len(field)))
 		buffer.Write(field)
 	}
@@ -60,30 +65,15 @@
 	return buffer.Bytes()
 }
 
-// Genesis is what all members are given alike before the first entry. Members who differ in
-// it have other hashes from the start, and never take each other's entries.
+// Genesis is what all members are configured with alike before the first entry. Members that
+// differ in it have different hashes from the start, and never accept each other's entries.
 type Genesis struct {
-	RootKey        []byte                 `json:"root,omitempty"` // public key of who may found accounts; empty for nobody
+	RootKey        []byte                 `json:"root,omitempty"` // public key that may create accounts; empty for none
 	Zones          zonestatus.Config      `json:"zone"`
-	DisabledChecks account.DisabledChecks `json:"-"` // of accounts, for a rig; each member's own
+	DisabledChecks account.DisabledChecks `json:"-"` // guards switched off in a scenario; not shared
 }
 
-// Hash is of a chain: of its last entry and of all before it.
-type Hash [sha256.Size]byte
-
-// MarshalText writes it in hexadecimal digits.
-func (h Hash) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(h[:])), nil }
-
-// UnmarshalText reads it.
-func (h *Hash) UnmarshalText(text []byte) error {
-	if hex.DecodedLen(len(text)) != len(h) {
-		return fmt.Errorf("hash: %d digits, want %d", len(text), hex.EncodedLen(len(h)))
-	}
-	_, err := hex.Decode(h[:], text)
-	return err
-}
-
-// Strict reads one JSON value, all of whose names are known.
+// UnmarshalStrict reads exactly one JSON value into value, which must know all its names.
 func UnmarshalStrict(raw []byte, value any) error {
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
--- a/internal/fleet/logentry/state.go
+++ b/internal/fleet/logentry/state.go
@@ -14,25 +14,26 @@
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// Outcome says what became of an entry.
+// Outcome is the result of a proposed entry.
 type Outcome struct {
-	Index    uint64 `json:"index"`
-	Accepted bool   `json:"taken"`
-	Reason   string `json:"reason,omitempty"` // why it was not
+	Index    uint64 `json:"index"`            // its place in the log; 0 if it was rejected before it was logged
+	Accepted bool   `json:"taken"`            // whether it changed the state
+	Reason   string `json:"reason,omitempty"` // why it was not accepted
 }
 
 // State is what all entries up to Index add up to. It is never changed in place, so that
-// readers may keep it.
+// readers may keep it, from any goroutine.
 type State struct {
 	Genesis   Genesis          `json:"genesis"`
 	Index     uint64           `json:"index"`
-	Hash      Hash             `json:"hash"`
+	Hash      Hash             `json:"hash"` // of the chain up to Index
 	Zones     zonestatus.State `json:"zones"`
 	Accounts  account.State    `json:"accounts"`
 	Contracts slo.State        `json:"contracts"`
 }
 
-// New returns the state before the first entry.
+// NewState returns the state before the first entry. A root key or zone configuration that
+// can't be used is an error.
 func NewState(genesis Genesis) (*State, error) {
 	if len(genesis.RootKey) != 0 && len(genesis.RootKey) != ed25519.PublicKeySize {
 		return nil, fmt.Errorf("root: %d bytes are no Ed25519 public key", len(genesis.RootKey))
@@ -49,8 +50,11 @@
 	return s, nil
 }
 
-// Adopt takes over a state that was written down, before it is used: it must have begun as
-// g says, and gets what is not written.
+// ErrGenesisMismatch reports a state that began from another Genesis.
+var ErrGenesisMismatch = errors.New("state: of another genesis, root or zones differ")
+
+// AttachGenesis prepares a state that was read from JSON: it checks that the state began
+// from this genesis, and fills in what JSON leaves out.
 func (s *State) AttachGenesis(genesis Genesis) error {
 	stored, err := json.Marshal(s.Genesis)
 	if err != nil {
@@ -61,14 +65,15 @@
 		return err
 	}
 	if !bytes.Equal(stored, configured) {
-		return errors.New("state: of another beginning, root or zones differ")
+		return ErrGenesisMismatch
 	}
-	s.Genesis, s.Accounts.DisabledChecks = genesis, genesis.DisabledChecks
+	s.Genesis = genesis
+	s.Accounts.DisabledChecks = genesis.DisabledChecks
 	return nil
 }
 
-// Apply returns the state after one more entry, as it stands in the log. One that is not
-// taken changes nothing but index and hash.
+// Apply returns the state after one more entry, in the bytes that are in the log. An entry
+// that is not accepted changes nothing but index and hash.
 func (s *State) Apply(raw []byte) (*State, Outcome) {
 	next := *s
 	next.Index++
@@ -85,16 +90,13 @@
 	return &next, Outcome{Index: next.Index, Accepted: true}
 }
 
-// Check tells whether an entry would be taken now, as Apply does.
+// Check returns why an entry would not be accepted now, nil if it would.
 func (s *State) Check(raw []byte) error {
 	_, err := s.evaluate(raw)
 	return err
 }
 
-// errMembers is that a key signs what the fleet's members decide among themselves.
-var errMemberDecision = errors.New("this is the members' own decision, and no key's")
-
-// take returns a state of which only the rooms count.
+// evaluate returns a state with the entry's change in it: index and hash are as before.
 func (s *State) evaluate(raw []byte) (*State, error) {
 	if len(raw) > MaxSize {
 		return nil, fmt.Errorf("entry: %d bytes, at most %d are taken", len(raw), MaxSize)
@@ -107,55 +109,8 @@
 		return nil, fmt.Errorf("%s: %w", entry.Kind, err)
 	}
 	next := *s
-	var err error
-	switch entry.Kind {
-	case KindZones:
-		var change zonestatus.Change
-		if err = UnmarshalStrict(entry.Body, &change); err == nil && entry.KeyName != "" {
-			err = errMemberDecision
-		}
-		if err == nil {
-			next.Zones, err = s.Zones.Apply(s.Genesis.Zones, change)
-		}
-	case KindAccounts:
-		var change account.Change
-		if err = UnmarshalStrict(entry.Body, &change); err == nil {
-			next.Accounts, err = s.Accounts.Apply(change, entry.KeyName)
-		}
-	case KindContracts:
-		var change slo.Change
-		if err = UnmarshalStrict(entry.Body, &change); err == nil && entry.KeyName != "" && len(change.Allocations) > 0 {
-			err = errMemberDecision
-		}
-		if err == nil {
-			next.Contracts, err = s.Contracts.Apply(change, entry.ProposedAt, func(holder string) error { return s.Accounts.AuthorizeContract(entry.KeyName, holder) })
-		}
-	case KindSettings:
-		err = errors.New("no entry of this kind is taken yet")
-	default:
-		err = errors.New("unknown kind")
-	}
-	if err != nil {
+	if err := next.applyChange(&entry); err != nil {
 		return nil, fmt.Errorf("%s: %w", entry.Kind, err)
 	}
 	return &next, nil
 }
-
-// signed holds an entry to its signature. Without a key it is a member's own, and the room
-// decides what such a one may change.
-func (s *State) verifySignature(entry *Entry) error {
-	if entry.KeyName == "" {
-		if len(entry.Signature) > 0 {
-			return errors.New("a signature, but no key")
-		}
-		return nil
-	}
-	publicKey, ok := s.Accounts.PublicKey(entry.KeyName)
-	if !ok {
-		return fmt.Errorf("key %.40q: nobody's", entry.KeyName)
-	}
-	if !ed25519.Verify(publicKey, entry.SignedBytes(), entry.Signature) {
-		return fmt.Errorf("key %.40q: the signature is not good", entry.KeyName)
-	}
-	return nil
-}
