--- a/internal/fleet/replog/propose_test.go
+++ b/internal/fleet/replog/propose_test.go
@@ -25,14 +25,14 @@
 			t.Errorf("%s: hash %x, the leader's is %x", name, got, want)
 		}
 	}
-	refused, err := a.Propose(context.Background(), zonesEntry(0))
-	if err != nil || refused.Accepted || refused.Index != 0 || refused.Reason == "" {
-		t.Errorf("an entry on an old version: %+v, %v", refused, err)
+	rejected, err := a.Propose(context.Background(), zonesEntry(0))
+	if err != nil || rejected.Accepted || rejected.Index != 0 || rejected.Reason == "" {
+		t.Errorf("an entry on an old version: %+v, %v", rejected, err)
 	}
-	// A follower that starts alone has what it knew, and says that nobody was heard.
+	// A follower that starts alone has the state it knew, and is not within a lease.
 	for _, m := range f.members {
-		if ra := m.raft.Load(); ra != nil {
-			if err := ra.Snapshot().Error(); err != nil {
+		if raftNode := m.raft.Load(); raftNode != nil {
+			if err := raftNode.Snapshot().Error(); err != nil {
 				t.Errorf("%s: snapshot: %v", m.options.Name, err)
 			}
 		}
@@ -42,14 +42,14 @@
 	if v := a.View(); v.State.Index != last.Index || v.State.Hash != want || v.WithinLease {
 		t.Errorf("alone: %+v", v)
 	}
-	// Voters that start from a snapshot, without the log before it, go on where they were.
+	// Voters that start from a snapshot, without the log before it, continue from there.
 	for _, v := range f.voters {
 		f.restart(f.members[v.Name], nil)
 	}
 	f.propose(a)
 	for _, v := range f.voters {
 		f.await(f.members[v.Name], "at the third", freshAtIndex(last.Index+1))
-		if d := f.members[v.Name].raft.Load(); d.Stats()["last_snapshot_index"] == "0" {
+		if raftNode := f.members[v.Name].raft.Load(); raftNode.Stats()["last_snapshot_index"] == "0" {
 			t.Errorf("%s has no snapshot", v.Name)
 		}
 	}
@@ -75,6 +75,6 @@
 	if got := next.View().State.Zones.Version; err == nil && (!out.Accepted || got <= version) {
 		t.Errorf("answered %+v, and the new leader is at version %d of %d", out, got, version)
 	} else if err != nil && !errors.Is(err, ErrOutcomeUnknown) && got != version {
-		t.Errorf("%v, but it was taken", err)
+		t.Errorf("%v, but it was accepted", err)
 	}
 }
--- a/internal/fleet/replog/sealedconn_test.go
+++ b/internal/fleet/replog/sealedconn_test.go
@@ -14,8 +14,14 @@
 	"pgregory.net/rapid"
 )
 
-// pair returns both ends of a connection, each with its key.
-func connectedPair(t interface{ Fatal(...any) }, callerKey, calledKey string, wire func(net.Conn) net.Conn) (caller, called *sealedConn) {
+// testKey is a fleet key.
+const testKey = "0123456789abcdef"
+
+// connectedPair returns both ends of a connection, each with its key. wire wraps the dialing
+// end.
+func connectedPair(
+	t interface{ Fatal(...any) }, dialedKey, acceptedKey string, wire func(net.Conn) net.Conn,
+) (dialed, accepted *sealedConn) {
 	a, b := net.Pipe()
 	for _, c := range []net.Conn{a, b} {
 		_ = c.SetDeadline(time.Now().Add(testTimeout))
@@ -23,25 +29,25 @@
 	done := make(chan error, 1)
 	go func() {
 		var err error
-		called, err = handshake(b, []byte(calledKey), false)
+		accepted, err = handshake(b, []byte(acceptedKey), false)
 		done <- err
 	}()
-	caller, err := handshake(wire(a), []byte(callerKey), true)
+	dialed, err := handshake(wire(a), []byte(dialedKey), true)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	return caller, called
+	return dialed, accepted
 }
 
 func unaltered(c net.Conn) net.Conn { return c }
 
-// What is said comes out as it was, in whatever parts it is said and read.
+// What is written is read unchanged, in whatever parts it is written and read.
 func TestFramesArriveUnchangedInAnySplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := connectedPair(t, "0123456789abcdef", "0123456789abcdef", unaltered)
+		a, b := connectedPair(t, testKey, testKey, unaltered)
 		defer func() { _, _ = a.Close(), b.Close() }()
 		parts := rapid.SliceOfN(rapid.IntRange(0, 3*maxFrameSize), 1, 5).Draw(t, "parts")
 		seed := rapid.SliceOfN(rapid.Byte(), 1, 40).Draw(t, "seed")
@@ -57,12 +63,12 @@
 		}
 		got, _ := io.ReadAll(io.LimitReader(b, int64(len(want))))
 		if !bytes.Equal(got, want) {
-			t.Fatalf("%d bytes came of %d, or others", len(got), len(want))
+			t.Fatalf("%d bytes read of %d, or different ones", len(got), len(want))
 		}
 	})
 }
 
-// spoiling flips one bit of what is written after the greeting.
+// bitFlipper flips one bit of what is written, at an offset; none at a negative one.
 type bitFlipper struct {
 	net.Conn
 	offset, written int
@@ -77,29 +83,35 @@
 	return s.Conn.Write(p)
 }
 
-// Not a byte comes out of a frame that was changed on its way, or sealed with another key.
+// No byte is read of a frame that was altered on its way, or sealed with another key.
 func TestRejectsAlteredFrames(t *testing.T) {
-	const greeting = len(handshakeMagic) + nonceSize
+	const handshakeSize = len(handshakeMagic) + nonceSize
 	text := []byte("an entry of the record")
 	cases := map[string]struct {
-		key string
-		at  int
-	}{"key": {"another key, as long", -1}, "length": {"", greeting + 1}, "text": {"", greeting + 5}, "tag": {"", greeting + 2 + len(text)}}
+		dialedKey     string
+		flippedOffset int
+	}{
+		"key":    {"another key, as long", -1},
+		"length": {testKey, handshakeSize + 1},
+		"text":   {testKey, handshakeSize + 5},
+		"tag":    {testKey, handshakeSize + 2 + len(text)},
+	}
 	for name, c := range cases {
-		key := "0123456789abcdef"
-		if c.key == "" {
-			c.key = key
-		}
-		a, b := connectedPair(t, c.key, key, func(n net.Conn) net.Conn { return &bitFlipper{Conn: n, offset: c.at} })
-		go func() { _, _ = a.Write(text); _ = a.Close() }()
+		a, b := connectedPair(t, c.dialedKey, testKey, func(n net.Conn) net.Conn {
+			return &bitFlipper{Conn: n, offset: c.flippedOffset}
+		})
+		go func() {
+			_, _ = a.Write(text)
+			_ = a.Close()
+		}()
 		if got, err := io.ReadAll(b); err == nil || len(got) > 0 {
-			t.Errorf("%s: %q came out, %v", name, got, err)
+			t.Errorf("%s: read %q, %v", name, got, err)
 		}
 		_, _ = a.Close(), b.Close()
 	}
 }
 
-// sealedByHand returns a frame as the wire has it: two bytes of length, and the text sealed.
+// expectedFrame returns a frame as the wire has it: two bytes of length, and the sealed text.
 func expectedFrame(t *testing.T, key, salt []byte, direction string, number byte, text string) []byte {
 	t.Helper()
 	derived, err := hkdf.Key(sha256.New, key, salt, "coralrelay-record-1 "+direction, 32)
@@ -119,24 +131,24 @@
 	return append(size, aead.Seal(nil, nonce, []byte(text), size)...)
 }
 
-// greetedByHand plays the other side of a greeting on a, and returns both nonces, the
-// caller's first, and the conn that greet made.
-func handshakeByHand(t *testing.T, a, b net.Conn, key []byte, calls bool) (salt []byte, c *sealedConn) {
+// handshakeByHand is the other side of a handshake on a. It returns both nonces, the dialing
+// side's first, and the connection that handshake returned.
+func handshakeByHand(t *testing.T, a, b net.Conn, key []byte, isDialer bool) (salt []byte, c *sealedConn) {
 	t.Helper()
-	greeted := make(chan error, 1)
+	completed := make(chan error, 1)
 	go func() {
 		var err error
-		c, err = handshake(b, key, calls)
-		greeted <- err
+		c, err = handshake(b, key, isDialer)
+		completed <- err
 	}()
 	own, other := []byte("sixteen bytes ok"), make([]byte, 16)
-	if calls {
-		head := make([]byte, 4)
-		_, _ = io.ReadFull(a, head)
+	if isDialer {
+		magic := make([]byte, 4)
+		_, _ = io.ReadFull(a, magic)
 		_, _ = io.ReadFull(a, other)
 		_, _ = a.Write(own)
-		if string(head) != "CRF1" {
-			t.Errorf("a greeting begins with %q", head)
+		if string(magic) != "CRF1" {
+			t.Errorf("a handshake begins with %q", magic)
 		}
 		salt = append(other, own...)
 	} else {
@@ -144,38 +156,44 @@
 		_, _ = io.ReadFull(a, other)
 		salt = append(own, other...)
 	}
-	if err := <-greeted; err != nil {
+	if err := <-completed; err != nil {
 		t.Fatal(err)
 	}
 	return salt, c
 }
 
-// Greeting and frames are, byte for byte, what a peer of another release says and awaits.
+// Handshake and frames are, byte for byte, what a peer of another release sends and expects.
 func TestFramesMatchTheWireFormat(t *testing.T) {
-	key := []byte("0123456789abcdef")
-	for _, calls := range []bool{true, false} {
+	key := []byte(testKey)
+	for _, isDialer := range []bool{true, false} {
 		a, b := net.Pipe()
 		for _, c := range []net.Conn{a, b} {
 			_ = c.SetDeadline(time.Now().Add(testTimeout))
 		}
-		salt, c := handshakeByHand(t, a, b, key, calls)
+		salt, c := handshakeByHand(t, a, b, key, isDialer)
 		out, in := "caller", "called"
-		if !calls {
+		if !isDialer {
 			out, in = in, out
 		}
 		done := make(chan error, 1)
 		for number, text := range []string{"first", "the second"} {
-			go func() { _, err := c.Write([]byte(text)); done <- err }()
+			go func() {
+				_, err := c.Write([]byte(text))
+				done <- err
+			}()
 			want := expectedFrame(t, key, salt, out, byte(number), text)
 			got := make([]byte, len(want))
 			if _, err := io.ReadFull(a, got); err != nil || <-done != nil || !bytes.Equal(got, want) {
-				t.Errorf("calls %v, %q: written %x, %v; want %x", calls, text, got, err, want)
+				t.Errorf("dialer %v, %q: written %x, %v; want %x", isDialer, text, got, err, want)
 			}
 			frame := expectedFrame(t, key, salt, in, byte(number), text)
-			go func() { _, err := a.Write(frame); done <- err }()
+			go func() {
+				_, err := a.Write(frame)
+				done <- err
+			}()
 			read := make([]byte, len(text))
 			if _, err := io.ReadFull(c, read); err != nil || <-done != nil || string(read) != text {
-				t.Errorf("calls %v, %q: read %q, %v", calls, text, read, err)
+				t.Errorf("dialer %v, %q: read %q, %v", isDialer, text, read, err)
 			}
 		}
 		_, _ = a.Close(), b.Close()
--- a/internal/fleet/replog/testfleet_test.go
+++ b/internal/fleet/replog/testfleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,32 +18,38 @@
 	"coralrelay/internal/fleet/zonestatus"
 )
 
-// patience is how long a test waits for an event before it fails.
+// testTimeout is how long a test waits for an event before it fails.
 const testTimeout = 10 * time.Second
 
+// fleetCount numbers the fleets of this process, so that each has ports of its own.
 var fleetCount atomic.Int32
 
-// fleet is members in one process, on loopback addresses of the test's own.
+// testFleet is members in one process, on loopback addresses of the test's own.
 type testFleet struct {
 	t       *testing.T
 	voters  []Voter
 	members map[string]*testMember
 }
 
+// testMember is a member that runs until kill.
 type testMember struct {
 	*Replica
 	options  Options
-	diskFull atomic.Bool // its disk
+	diskFull atomic.Bool // its writes fail
 	cancel   context.CancelFunc
 	done     chan struct{}
 }
 
+// newFleet starts voters v0, v1 ... in zones z0, z1 ...; the test's end kills all members.
 func newFleet(t *testing.T, voters int) *testFleet {
 	f := &testFleet{t: t, members: map[string]*testMember{}}
-	n, pid := fleetCount.Add(1), os.Getpid()
+	port, pid := 2000+32*int(fleetCount.Add(1)), os.Getpid()
 	for i := range voters {
-		f.voters = append(f.voters, Voter{Name: fmt.Sprintf("v%d", i), Zone: fmt.Sprintf("z%d", i),
-			Addr: fmt.Sprintf("127.%d.%d.%d:%d", 100+pid/256%100, pid%256, i+1, 2000+32*int(n))})
+		f.voters = append(f.voters, Voter{
+			Name: fmt.Sprintf("v%d", i),
+			Zone: fmt.Sprintf("z%d", i),
+			Addr: fmt.Sprintf("127.%d.%d.%d:%d", 100+pid/256%100, pid%256, i+1, port),
+		})
 	}
 	for _, v := range f.voters {
 		f.start(v.Name, v.Addr, nil)
@@ -55,16 +62,23 @@
 	return f
 }
 
+// start starts a member with a disk of its own; edit may be nil.
 func (f *testFleet) start(name, bind string, edit func(*Options)) *testMember {
 	f.t.Helper()
 	m := &testMember{done: make(chan struct{})}
-	m.options = Options{Name: name, Dir: filepath.Join(f.t.TempDir(), name), Bind: bind, Voters: f.voters, Key: []byte("0123456789abcdef"),
-		InjectFault: func(op string) error {
+	m.options = Options{
+		Name:   name,
+		Dir:    filepath.Join(f.t.TempDir(), name),
+		Bind:   bind,
+		Voters: f.voters,
+		Key:    []byte(testKey),
+		InjectFault: func(string) error {
 			if m.diskFull.Load() {
 				return errors.New("disk full")
 			}
 			return nil
-		}}
+		},
+	}
 	if edit != nil {
 		edit(&m.options)
 	}
@@ -73,16 +87,23 @@
 		f.t.Fatal(err)
 	}
 	m.Replica = r
-	ctx, end := context.WithCancel(context.Background())
-	m.cancel = end
-	go func() { defer close(m.done); _ = r.Run(ctx) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() { // ends with kill
+		defer close(m.done)
+		_ = r.Run(ctx)
+	}()
 	f.members[name] = m
 	return m
 }
 
-func (m *testMember) kill() { m.cancel(); <-m.done }
+// kill ends a member as a signal would, and waits for that.
+func (m *testMember) kill() {
+	m.cancel()
+	<-m.done
+}
 
-// again starts a member that was killed, on the same disk.
+// restart starts a member that was killed, on the same disk; edit may be nil.
 func (f *testFleet) restart(m *testMember, edit func(*Options)) *testMember {
 	return f.start(m.options.Name, m.options.Bind, func(o *Options) {
 		o.Dir = m.options.Dir
@@ -92,16 +113,16 @@
 	})
 }
 
-// until waits for a member's view.
+// await waits until a member's view is ok.
 func (f *testFleet) await(m *testMember, what string, ok func(View) bool) View {
 	f.t.Helper()
 	for deadline := time.After(testTimeout); ; {
-		woken := m.Changed()
+		changed := m.Changed()
 		if v := m.View(); ok(v) {
 			return v
 		}
 		select {
-		case <-woken:
+		case <-changed:
 		case <-deadline:
 			v := m.View()
 			f.t.Fatalf("%s: not %s; index %d, %+v", m.options.Name, what, v.State.Index, v)
@@ -109,32 +130,28 @@
 	}
 }
 
-// leader waits for one that is ready, other than those named.
-func (f *testFleet) awaitLeader(not ...*testMember) *testMember {
+// awaitLeader waits for a leader within its lease, other than those excluded.
+func (f *testFleet) awaitLeader(excluded ...*testMember) *testMember {
 	f.t.Helper()
 	found := make(chan *testMember, len(f.voters))
 	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	defer wg.Wait()
+	var watching sync.WaitGroup
+	defer watching.Wait()
 	defer close(stop)
 	for _, v := range f.voters {
 		m := f.members[v.Name]
-		skip := false
-		for _, n := range not {
-			skip = skip || n == m
-		}
-		if skip {
+		if slices.Contains(excluded, m) {
 			continue
 		}
-		wg.Go(func() {
+		watching.Go(func() {
 			for {
-				woken := m.Changed()
+				changed := m.Changed()
 				if v := m.View(); m.IsLeader() && v.WithinLease {
 					found <- m
 					return
 				}
 				select {
-				case <-woken:
+				case <-changed:
 				case <-stop:
 					return
 				}
@@ -150,12 +167,18 @@
 	}
 }
 
-// change is an entry that is taken on a version; each makes the next version.
+// zonesEntry is an entry that is accepted on a version, and makes the next one.
 func zonesEntry(version uint64) logentry.Entry {
-	body, _ := json.Marshal(zonestatus.Change{BaseVersion: version, Zones: []string{"z0", "z1", "z2"}, Shed: float64(version%2+1) / 4})
+	change := zonestatus.Change{
+		BaseVersion: version,
+		Zones:       []string{"z0", "z1", "z2"},
+		Shed:        float64(version%2+1) / 4,
+	}
+	body, _ := json.Marshal(change)
 	return logentry.Entry{Kind: logentry.KindZones, ProposedBy: "test", Body: body}
 }
 
+// propose has a member propose an entry that is accepted.
 func (f *testFleet) propose(m *testMember) logentry.Outcome {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -167,6 +190,7 @@
 	return out
 }
 
+// awaitAll waits until the views of all members are ok.
 func (f *testFleet) awaitAll(what string, ok func(View) bool) {
 	f.t.Helper()
 	for _, m := range f.members {
@@ -174,11 +198,13 @@
 	}
 }
 
+// startFollower starts follower fN, on the first voter's address.
 func startFollower(f *testFleet, n int) *testMember {
 	at := netip.MustParseAddrPort(f.voters[0].Addr)
 	return f.start(fmt.Sprintf("f%d", n), netip.AddrPortFrom(at.Addr(), at.Port()+uint16(n)).String(), nil)
 }
 
+// freshAtIndex reports whether a view is within the lease and has that entry.
 func freshAtIndex(n uint64) func(View) bool {
 	return func(v View) bool { return v.State.Index >= n && v.WithinLease }
 }
