--- a/internal/fleet/logentry/stored_test.go
+++ b/internal/fleet/logentry/stored_test.go
@@ -42,8 +42,8 @@
 	filled := map[string]bool{}
 	for n, c := range storedChanges() {
 		e := storedEntry(t, n, c)
-		recordFields(reflect.ValueOf(e), filled)
-		recordFields(reflect.ValueOf(c.change), filled)
+		noteSetFields(reflect.ValueOf(e), filled)
+		noteSetFields(reflect.ValueOf(c.change), filled)
 		line := marshalEntry(t, e)
 		log.Write(append(line, '\n'))
 		var out Outcome
@@ -64,7 +64,7 @@
 	if err := read.AttachGenesis(storedGenesis()); err != nil || !reflect.DeepEqual(read, state) {
 		t.Errorf("read as %+v, %v; it was %+v", read, err, state)
 	}
-	recordFields(reflect.ValueOf(read), filled)
+	noteSetFields(reflect.ValueOf(read), filled)
 	for field, isFilled := range filled {
 		if !isFilled {
 			t.Errorf("%s: no stored value has it set", field)
@@ -73,26 +73,26 @@
 }
 
 // recordFields notes, for each field reachable from a value, whether it was ever not zero.
-func recordFields(value reflect.Value, filled map[string]bool) {
+func noteSetFields(value reflect.Value, filled map[string]bool) {
 	switch value.Kind() {
 	case reflect.Pointer:
 		if !value.IsNil() {
-			recordFields(value.Elem(), filled)
+			noteSetFields(value.Elem(), filled)
 		}
 	case reflect.Slice:
 		for i := range value.Len() {
-			recordFields(value.Index(i), filled)
+			noteSetFields(value.Index(i), filled)
 		}
 	case reflect.Map:
 		for _, key := range value.MapKeys() {
-			recordFields(value.MapIndex(key), filled)
+			noteSetFields(value.MapIndex(key), filled)
 		}
 	case reflect.Struct:
 		for field, fieldValue := range value.Fields() {
 			if field.IsExported() && field.Tag.Get("json") != "-" {
 				name := value.Type().String() + "." + field.Name
 				filled[name] = filled[name] || !fieldValue.IsZero()
-				recordFields(fieldValue, filled)
+				noteSetFields(fieldValue, filled)
 			}
 		}
 	}
--- a/internal/fleet/replog/stored_test.go
+++ b/internal/fleet/replog/stored_test.go
@@ -133,7 +133,7 @@
 		{Suffrage: raft.Voter, ID: "v0", Address: "127.0.0.1:7001"},
 		{Suffrage: raft.Nonvoter, ID: "v1", Address: "127.0.0.1:7002"},
 	}}
-	founders := map[string]string{"v0": "0011223344556677", "v1": "8899aabbccddeeff"}
+	stores := map[string]string{"v0": "0011223344556677", "v1": "8899aabbccddeeff"}
 	logs := []*raft.Log{
 		{Index: 2, Term: 5, Type: raft.LogNoop, AppendedAt: time.Unix(0, 1_700_000_000_000_000_001), Data: []byte{}},
 		{Index: 3, Term: 6, Type: raft.LogCommand, Data: []byte(`{"kind":"settings","by":"m1","at":1,"body":{}}`)},
@@ -150,7 +150,7 @@
 	}
 	err = errors.Join(
 		err,
-		d.bootstrap(servers, founders),
+		d.bootstrap(servers, stores),
 		d.StoreLogs(logs),
 		d.SetUint64([]byte("CurrentTerm"), 9),
 		d.SetUint64([]byte("LastVoteTerm"), 8),
@@ -174,7 +174,7 @@
 	term, _ := d.GetUint64([]byte("CurrentTerm"))
 	voteTerm, _ := d.GetUint64([]byte("LastVoteTerm"))
 	vote, _ := d.Get([]byte("LastVoteCand"))
-	if term != 9 || voteTerm != 8 || string(vote) != "127.0.0.1:7002" || !maps.Equal(d.bootstrapStores, founders) {
+	if term != 9 || voteTerm != 8 || string(vote) != "127.0.0.1:7002" || !maps.Equal(d.bootstrapStores, stores) {
 		t.Errorf("term %d, a vote in %d for %q, bootstrap stores %v", term, voteTerm, vote, d.bootstrapStores)
 	}
 	if d.snapshot == nil || !reflect.DeepEqual(d.snapshot.Meta, meta) || !bytes.Equal(d.snapshot.Data, sealed) {
