--- a/internal/fleet/logentry/entry.go
+++ b/internal/fleet/logentry/entry.go
@@ -7,7 +7,7 @@
 //
 // An entry that is not accepted is no error of Apply: Outcome.Reason says why, in the text
 // that Check returns as an error. AttachGenesis returns ErrGenesisMismatch for a state of
-// another fleet. All other errors report malformed input, and are told apart by nobody.
+// another fleet. All other errors report malformed input; no caller tells them apart.
 package logentry
 
 import (
--- a/internal/fleet/replog/join.go
+++ b/internal/fleet/replog/join.go
@@ -16,9 +16,9 @@
 }
 
 // join returns nil once this voter's store may vote. A store that is not blank may, since it
-// holds its promises. A blank one is either one of those with which the fleet is
-// bootstrapped, or in the place of one that was lost, whose promises nobody knows any more:
-// then the leader takes this voter back, as a non-voter at first.
+// holds its votes and its log. A blank one is either one of those with which the fleet is
+// bootstrapped, or replaces one that was lost with its votes: then the leader readmits this
+// voter, as a non-voter at first.
 func (r *Replica) join(ctx context.Context, votes *voterStore) error {
 	if !votes.isBlank() {
 		return nil
@@ -93,7 +93,7 @@
 }
 
 // requestReadmission asks one voter after the other, and reports whether one of them, the
-// leader, has taken this one back.
+// leader, has readmitted this one.
 func (r *Replica) requestReadmission(ctx context.Context) bool {
 	for _, v := range r.options.Voters {
 		if v.Name == r.self.Name {
--- a/internal/fleet/replog/leaseclock.go
+++ b/internal/fleet/replog/leaseclock.go
@@ -13,8 +13,8 @@
 // its receiver can't see for how long. So a follower sends sequence numbers, one at a time,
 // and a heartbeat names the last one that the upstream has received, with the age that the
 // leader's confirmation had at that moment. That moment is no earlier than the one at which
-// the follower sent the number, by the follower's own clock. So a confirmation is never
-// taken for younger than it is; for older at most by the time a number was on its way. The
+// the follower sent the number, by the follower's own clock. So a confirmation never counts
+// as younger than it is, and as older at most by the time that a number was on its way. The
 // hello counts as sequence number 1.
 
 // sequenceSize is the length of a sequence number in bytes.
--- a/internal/fleet/replog/membership.go
+++ b/internal/fleet/replog/membership.go
@@ -55,7 +55,7 @@
 	}
 	id, address := raft.ServerID(voter.Name), raft.ServerAddress(voter.Addr)
 	if request.Action == actionPromote {
-		// The change that took it back came after all that it may have promised.
+		// The readmission was logged after all that its lost store may have held.
 		future := raftNode.GetConfiguration()
 		if err := future.Error(); err != nil || request.AppliedIndex < future.Index() {
 			return errors.Join(err, errBehind)
--- a/internal/fleet/replog/messages.go
+++ b/internal/fleet/replog/messages.go
@@ -88,7 +88,7 @@
 // The actions. Readmit and promote are the leader's; see changeMembership.
 const (
 	actionDescribe voterAction = "who"
-	actionReadmit  voterAction = "back" // take back, as a non-voter, a voter that has lost its store
+	actionReadmit  voterAction = "back" // make a voter that has lost its store a non-voter
 	actionPromote  voterAction = "vote" // give it its vote again
 )
 
--- a/internal/fleet/replog/ranking.go
+++ b/internal/fleet/replog/ranking.go
@@ -79,8 +79,8 @@
 	return members
 }
 
-// splitLayers cuts the members into layers, of which the first has room for capacity and
-// each other for maxFollowers times as many as the one before. It returns the layers above
+// splitLayers cuts the members into layers: the first holds as many as capacity says, each
+// other one maxFollowers times as many as the one before. It returns the layers above
 // self's, from the top, and the members of self's own and the lower ones without self.
 func splitLayers(self string, members []Peer, capacity int) (above [][]Peer, below []Peer) {
 	reachedOwnLayer := false
--- a/internal/fleet/replog/sealedconn_test.go
+++ b/internal/fleet/replog/sealedconn_test.go
@@ -86,7 +86,7 @@
 // No byte is read of a frame that was altered on its way, or sealed with another key.
 func TestRejectsAlteredFrames(t *testing.T) {
 	const handshakeSize = len(handshakeMagic) + nonceSize
-	text := []byte("an entry of the record")
+	text := []byte("an entry of the log")
 	cases := map[string]struct {
 		dialedKey     string
 		flippedOffset int
--- a/internal/fleet/replog/voterstore_test.go
+++ b/internal/fleet/replog/voterstore_test.go
@@ -40,7 +40,7 @@
 }
 
 // A voter whose store is torn moves it aside, has no vote until it holds all that it may
-// have promised, and then votes again.
+// have voted for or stored, and then votes again.
 func TestVoterWithTornStoreIsReadmitted(t *testing.T) {
 	f := newFleet(t, 3)
 	f.awaitLeader()
