--- a/internal/store/stored_test.go
+++ b/internal/store/stored_test.go
@@ -20,12 +20,12 @@
 // writeStore makes a store that differs from storedFile at most in how pages are laid out.
 func writeStore(t *testing.T, path string) {
 	t.Helper()
-	s := mustOpen(t, path, schemaV2)
-	if err := s.Update(func(tx *Tx) error { return tx.Bucket([]byte("meta")).Put([]byte("id"), storedID[:]) }); err != nil {
+	store := mustOpen(t, path, schemaV2)
+	if err := store.Update(func(tx *Tx) error { return tx.Bucket([]byte("meta")).Put([]byte("id"), storedID[:]) }); err != nil {
 		t.Fatal(err)
 	}
-	put(t, s, "k", "v")
-	if err := s.Close(); err != nil {
+	put(t, store, "k", "v")
+	if err := store.Close(); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -49,15 +49,15 @@
 	fresh := filepath.Join(t.TempDir(), "store.db")
 	writeStore(t, fresh)
 	for name, path := range map[string]string{"stored": copyStored(t), "written now": fresh} {
-		s := mustOpen(t, path, schemaV2)
-		if s.ID != storedID || s.ID.String() != "0a1b2c3d4e5f6071" || s.Layout() != 2 || s.QuarantinePath != "" || s.QuarantineReason != nil {
-			t.Errorf("%s: id %v, layout %d, aside %q: %v", name, s.ID, s.Layout(), s.QuarantinePath, s.QuarantineReason)
+		store := mustOpen(t, path, schemaV2)
+		if store.ID != storedID || store.ID.String() != "0a1b2c3d4e5f6071" || store.Layout() != 2 || store.QuarantinePath != "" || store.QuarantineReason != nil {
+			t.Errorf("%s: id %v, layout %d, aside %q: %v", name, store.ID, store.Layout(), store.QuarantinePath, store.QuarantineReason)
 		}
-		if get(s, "k") != "v" || get(s, "mark") != "2" {
-			t.Errorf("%s: k is %q, mark is %q", name, get(s, "k"), get(s, "mark"))
+		if get(store, "k") != "v" || get(store, "mark") != "2" {
+			t.Errorf("%s: k is %q, mark is %q", name, get(store, "k"), get(store, "mark"))
 		}
 		found := map[string]string{}
-		err := s.View(func(tx *Tx) error {
+		err := store.View(func(tx *Tx) error {
 			return tx.ForEach(func(bucket []byte, b *Bucket) error {
 				return b.ForEach(func(k, v []byte) error { found[string(bucket)+"/"+string(k)] = string(v); return nil })
 			})
