replayguard: one concern a file, typed protocol errors and requests, plain log lines

A line that is not accepted is a *protocolError; a parsed request is a struct. Log lines have fixed messages, component and snake_case attributes. File, wire words and decisions are as before; nothing else changed. Tests of replayguard (also -race), resumption and coralctl pass.

--- a/internal/replayguard/guard_test.go
+++ b/internal/replayguard/guard_test.go
@@ -344,7 +344,7 @@
 					return
 				}
 				connected <- struct{}{}
-				if words, err := readFields(bufio.NewReader(conn), 5); err == nil {
+				if words, err := readFields(bufio.NewReader(conn)); err == nil && len(words) == helloFields {
 					_, _ = conn.Write([]byte(answer(k, words[1], words[2])))
 				}
 			}
--- a/internal/replayguard/server.go
+++ b/internal/replayguard/server.go
@@ -3,11 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"encoding/hex"
 	"errors"
-	"fmt"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,26 +13,29 @@
 )
 
 const (
-	// callers is how many nodes may be connected at once.
+	// maxConnections is how many peers may be connected at once.
 	maxConnections = 64
-	// answers is how many answers may wait for one of them; beyond it the
+	// maxQueuedResponses is how many responses may wait on one connection; beyond it the
 	// connection ends, as a commit must not wait for a slow reader.
 	maxQueuedResponses = 1024
-	// idle ends a connection: a peer says something every helloEvery.
+	// idleTimeout ends a connection: a peer sends something every statusInterval.
 	idleTimeout = 10 * time.Second
-	// writing is how long a write may block.
+	// writeTimeout is how long a write may block.
 	writeTimeout = time.Second
+	// acceptRetryDelay is the pause after a failed accept.
+	acceptRetryDelay = 5 * time.Millisecond
 )
 
-// Server answers other nodes' ledgers.
+// Server answers the requests of other nodes' guards.
 type Server struct {
-	Name     string
+	Name     string // of the node
 	Guard    *Guard
 	KeyRing  func() *resumetoken.KeyRing
 	failures logging.Throttled
 }
 
-// Serve answers until ctx ends; it closes the listener.
+// Serve answers until ctx ends or the listener is closed, and then returns nil. It closes the
+// listener at ctx's end, and returns after its connections have ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -48,8 +48,8 @@
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			s.failures.Warn("ledger: accept", "err", err)
-			time.Sleep(5 * time.Millisecond)
+			s.failures.Warn("replay guard accept failed", "component", component, "error", err)
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		select {
@@ -64,8 +64,9 @@
 	}
 }
 
-// serve answers one connection. Answers go out in a goroutine of their own, since
-// they come when a group is durable.
+// serveConnection answers on one connection until it or ctx ends, or a request is not
+// accepted. Responses are written by a goroutine of their own, since they come when a batch
+// is durable.
 func (s *Server) serveConnection(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -82,25 +83,58 @@
 			cancel()
 		}
 	}
+	err := s.readRequests(conn, respond)
+	var refused *protocolError
+	if ctx.Err() == nil && errors.As(err, &refused) {
+		s.failures.Warn("replay guard request rejected", "component", component,
+			"remote_address", conn.RemoteAddr().String(), "error", err)
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, _ = conn.Write([]byte(refusedMessage + lineEnd))
+	}
+}
+
+// readRequests answers until the connection ends or a request is not accepted.
+func (s *Server) readRequests(conn net.Conn, respond func(line string)) error {
 	reader := bufio.NewReaderSize(conn, maxLineBytes)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		fields, err := readFields(reader, 0)
-		if err == nil {
-			err = s.handleRequest(fields, respond)
-		}
+		fields, err := readFields(reader)
 		if err != nil {
-			if ctx.Err() == nil && errors.Is(err, errMalformedLine) {
-				s.failures.Warn("ledger: refused", "from", conn.RemoteAddr().String(), "err", err)
-				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				_, _ = conn.Write([]byte(refusedMessage + "\r\n"))
-			}
-			return
+			return err
 		}
+		if err := s.handleRequest(fields, respond); err != nil {
+			return err
+		}
+	}
+}
+
+// handleRequest answers one request; the response to a SPEND comes when its verdict is
+// durable. The error is a *protocolError.
+func (s *Server) handleRequest(fields []string, respond func(line string)) error {
+	request, err := parseRequest(s.KeyRing(), fields)
+	if err != nil {
+		return err
+	}
+	if request.command == helloMessage {
+		respond(request.statusLine(s.Guard.candidate(s.Name)))
+		return nil
+	}
+	id, err := request.redemptionID()
+	if err != nil {
+		return err
+	}
+	reply := func(verdict resumetoken.Verdict) { respond(request.verdictLine(verdict)) }
+	token, err := resumetoken.Open(s.KeyRing(), request.token())
+	if err != nil {
+		reply(resumetoken.Invalid)
+		return nil
 	}
+	s.Guard.Spend(&token, id, reply)
+	return nil
 }
 
-// write sends what comes, several lines at once where they wait.
+// writeLines writes what is queued, several lines at once where they wait. It returns when ctx
+// ends, or closes the connection and returns when a write fails.
 func writeLines(ctx context.Context, conn net.Conn, outgoing <-chan string) {
 	writer := bufio.NewWriter(conn)
 	for {
@@ -108,15 +142,7 @@
 		case <-ctx.Done():
 			return
 		case line := <-outgoing:
-			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			_, err := writer.WriteString(line)
-			for n := len(outgoing); n > 0 && err == nil; n-- {
-				_, err = writer.WriteString(<-outgoing)
-			}
-			if err == nil {
-				err = writer.Flush()
-			}
-			if err != nil {
+			if err := writeBatch(conn, writer, line, outgoing); err != nil {
 				_ = conn.Close()
 				return
 			}
@@ -124,43 +150,16 @@
 	}
 }
 
-func (s *Server) handleRequest(fields []string, respond func(string)) error {
-	switch {
-	case fields[0] == helloMessage && len(fields) == 5:
-	case fields[0] == spendMessage && len(fields) == 7:
-	default:
-		return fmt.Errorf("%w: %.60q", errMalformedLine, fields)
+// writeBatch writes a line and those that are queued behind it.
+func writeBatch(conn net.Conn, writer *bufio.Writer, line string, outgoing <-chan string) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := writer.WriteString(line); err != nil {
+		return err
 	}
-	challenge, sequence := fields[1], fields[2]
-	id, err := strconv.ParseUint(fields[3], 16, 32)
-	key, known := s.KeyRing().Get(resumetoken.KeyID(id))
-	if err != nil || !known || !verifyLine(key, "ask", fields) {
-		return fmt.Errorf("%w: its seal does not fit, key %.10q", errMalformedLine, fields[3])
-	}
-	macContext := "answer " + challenge
-	if fields[0] == helloMessage {
-		readiness, durability := "full", "goes"
-		if s.Guard.IsReady() {
-			readiness = "ready"
-		}
-		if s.Guard.IsDurable {
-			durability = "stays"
+	for range len(outgoing) {
+		if _, err := writer.WriteString(<-outgoing); err != nil {
+			return err
 		}
-		respond(authenticatedLine(key, macContext, statusMessage, sequence, s.Name, hex.EncodeToString(s.Guard.ID[:]), readiness, durability))
-		return nil
-	}
-	var redemptionID resumetoken.RedemptionID
-	if n, err := hex.Decode(redemptionID[:], []byte(fields[4])); err != nil || n != len(redemptionID) {
-		return fmt.Errorf("%w: claimant %.40q", errMalformedLine, fields[4])
-	}
-	reply := func(v resumetoken.Verdict) {
-		respond(authenticatedLine(key, macContext, verdictMessage, sequence, v.String()))
-	}
-	token, err := resumetoken.Open(s.KeyRing(), fields[5])
-	if err != nil {
-		reply(resumetoken.Invalid)
-		return nil
 	}
-	s.Guard.Spend(&token, redemptionID, reply)
-	return nil
+	return writer.Flush()
 }
