--- a/internal/resumetoken/redemption.go
+++ b/internal/resumetoken/redemption.go
@@ -2,31 +2,34 @@
 
 import "time"
 
-// Presentation is a token as a client presents it.
+// Presentation is a token as a client presents it, with what the token must be bound to.
 type Presentation struct {
-	Token          string
-	FlowKey, Group string
+	Token          string // encoded
+	FlowKey, Group string // of the client
 }
 
-// Outcome is how the client's stream starts.
+// Outcome says how the client's stream starts.
 type Outcome struct {
 	Verdict        Verdict
-	CanResume      bool     // at Pos; else with a snapshot
-	HasMinPosition bool     // the snapshot must not be older than Pos, which the token proves
-	Position       Position // of the token, where Resume or Floor is set
-	Nonce          Nonce    // of the token, where Resume is set
+	CanResume      bool     // the stream resumes at Position; else it starts with a snapshot
+	HasMinPosition bool     // the snapshot must not be older than Position
+	Position       Position // the token's, where CanResume or HasMinPosition is set
+	Nonce          Nonce    // the token's, where CanResume is set
 }
 
-// Redemption is one presentation at the node that took it. It ends with exactly
+// Redemption is the handling of one presentation at the node that received it. It has exactly
 // one Outcome; a grant that comes after that is not used, and the token is lost.
 type Redemption struct {
-	Token     Token
-	completed bool
+	Token       Token
+	isCompleted bool
 }
 
-// Begin checks a presentation. If it can be settled at once it returns the
-// outcome; else the token's arbiter has to be asked.
-func BeginRedemption(ring *KeyRing, now time.Time, presentation Presentation, skew time.Duration) (*Redemption, Outcome, bool) {
+// BeginRedemption checks a presentation. If that settles it, isSettled is true and the outcome
+// is final; else the token's arbiter has to be asked, and the redemption is not nil. The skew
+// is that by which nodes' clocks may differ.
+func BeginRedemption(
+	ring *KeyRing, now time.Time, presentation Presentation, skew time.Duration,
+) (redemption *Redemption, outcome Outcome, isSettled bool) {
 	token, err := Open(ring, presentation.Token)
 	if err == nil {
 		err = token.VerifyClient(ring, presentation.FlowKey, presentation.Group)
@@ -34,27 +37,27 @@
 	if err != nil {
 		return nil, Outcome{Verdict: verdictForError(err)}, true
 	}
-	redemption := &Redemption{Token: token}
+	redemption = &Redemption{Token: token}
 	if err := token.VerifyTime(now, skew, skew); err != nil {
-		return nil, redemption.complete(verdictForError(err)), true
+		return nil, redemption.outcome(verdictForError(err)), true
 	}
 	return redemption, Outcome{}, false
 }
 
-// Answered takes the arbiter's verdict, or Unreachable at the deadline. Only the
-// first counts.
+// Complete returns the outcome for the arbiter's verdict, which is ArbiterUnreachable at the
+// deadline. Only the first call counts; it is false for later ones.
 func (r *Redemption) Complete(verdict Verdict) (Outcome, bool) {
-	if r.completed {
+	if r.isCompleted {
 		return Outcome{}, false
 	}
-	return r.complete(verdict), true
+	r.isCompleted = true
+	return r.outcome(verdict), true
 }
 
-func (r *Redemption) complete(verdict Verdict) Outcome {
-	r.completed = true
+func (r *Redemption) outcome(verdict Verdict) Outcome {
 	if verdict == Granted {
 		return Outcome{Verdict: verdict, CanResume: true, Position: r.Token.Position, Nonce: r.Token.Nonce}
 	}
-	// Spent or not, the token proves what its client has seen.
+	// Spent or not, the token proves what its client has received.
 	return Outcome{Verdict: verdict, HasMinPosition: true, Position: r.Token.Position}
 }
