--- a/internal/store/stored_test.go
+++ b/internal/store/stored_test.go
@@ -17,11 +17,12 @@
 
 var storedID = ID{0x0a, 0x1b, 0x2c, 0x3d, 0x4e, 0x5f, 0x60, 0x71}
 
-// writeStore makes a store that differs from storedFile at most in how pages are laid out.
+// writeStore creates a store that differs from the stored file at most in how pages are laid out.
 func writeStore(t *testing.T, path string) {
 	t.Helper()
 	store := mustOpen(t, path, schemaV2)
-	if err := store.Update(func(tx *Tx) error { return tx.Bucket([]byte("meta")).Put([]byte("id"), storedID[:]) }); err != nil {
+	err := store.Update(func(tx *Tx) error { return tx.Bucket([]byte("meta")).Put([]byte("id"), storedID[:]) })
+	if err != nil {
 		t.Fatal(err)
 	}
 	put(t, store, "k", "v")
@@ -30,7 +31,7 @@
 	}
 }
 
-// copyStored returns the path of a copy of storedFile.
+// copyStored returns the path of a copy of the stored file.
 func copyStored(t *testing.T) string {
 	t.Helper()
 	dir := filepath.Join(t.TempDir(), "copy")
@@ -40,60 +41,80 @@
 	return filepath.Join(dir, filepath.Base(storedPath))
 }
 
-// Kind, layout and identity stand where they did, in a stored file and in a new one.
+// Kind, layout and identity are where they were, in a stored file and in a new one.
 func TestReadsStoredFile(t *testing.T) {
 	if *update {
 		_ = os.Remove(storedPath)
 		writeStore(t, storedPath)
 	}
+	want := map[string]string{
+		"meta/kind":   "test",
+		"meta/layout": "\x00\x00\x00\x00\x00\x00\x00\x02",
+		"meta/id":     "\x0a\x1b\x2c\x3d\x4e\x5f\x60\x71",
+		"things/k":    "v",
+		"things/mark": "2",
+	}
 	fresh := filepath.Join(t.TempDir(), "store.db")
 	writeStore(t, fresh)
 	for name, path := range map[string]string{"stored": copyStored(t), "written now": fresh} {
-		store := mustOpen(t, path, schemaV2)
-		if store.ID != storedID || store.ID.String() != "0a1b2c3d4e5f6071" || store.Layout() != 2 || store.QuarantinePath != "" || store.QuarantineReason != nil {
-			t.Errorf("%s: id %v, layout %d, aside %q: %v", name, store.ID, store.Layout(), store.QuarantinePath, store.QuarantineReason)
-		}
-		if get(store, "k") != "v" || get(store, "mark") != "2" {
-			t.Errorf("%s: k is %q, mark is %q", name, get(store, "k"), get(store, "mark"))
-		}
-		found := map[string]string{}
-		err := store.View(func(tx *Tx) error {
-			return tx.ForEach(func(bucket []byte, b *Bucket) error {
-				return b.ForEach(func(k, v []byte) error { found[string(bucket)+"/"+string(k)] = string(v); return nil })
+		t.Run(name, func(t *testing.T) {
+			store := mustOpen(t, path, schemaV2)
+			if store.ID != storedID || store.ID.String() != "0a1b2c3d4e5f6071" || store.Layout() != 2 {
+				t.Errorf("id %v, layout %d", store.ID, store.Layout())
+			}
+			if store.QuarantinePath != "" || store.QuarantineReason != nil {
+				t.Errorf("quarantined %q: %v", store.QuarantinePath, store.QuarantineReason)
+			}
+			if get(store, "k") != "v" || get(store, "mark") != "2" {
+				t.Errorf("k is %q, mark is %q", get(store, "k"), get(store, "mark"))
+			}
+			if found := contentsOf(t, store); !maps.Equal(found, want) {
+				t.Errorf("it holds %q, want %q", found, want)
+			}
+		})
+	}
+}
+
+// contentsOf returns all values by bucket and key.
+func contentsOf(t *testing.T, store *Store) map[string]string {
+	t.Helper()
+	contents := map[string]string{}
+	err := store.View(func(tx *Tx) error {
+		return tx.ForEach(func(name []byte, bucket *Bucket) error {
+			return bucket.ForEach(func(key, value []byte) error {
+				contents[string(name)+"/"+string(key)] = string(value)
+				return nil
 			})
 		})
-		want := map[string]string{
-			"meta/kind":   "test",
-			"meta/layout": "\x00\x00\x00\x00\x00\x00\x00\x02",
-			"meta/id":     "\x0a\x1b\x2c\x3d\x4e\x5f\x60\x71",
-			"things/k":    "v",
-			"things/mark": "2",
-		}
-		if err != nil || !maps.Equal(found, want) {
-			t.Errorf("%s: it holds %q, want %q: %v", name, found, want, err)
-		}
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
+	return contents
 }
 
-// The names under which a file that can't be used is found.
+// The names under which operators find a file that can't be used.
 func TestQuarantineFileNames(t *testing.T) {
-	truncate := func(path string) {
+	intact := func(string) {}
+	truncated := func(path string) {
 		if err := os.Truncate(path, 4096+512); err != nil {
 			t.Fatal(err)
 		}
 	}
-	for suffix, c := range map[string]struct {
-		spoil  func(path string)
+	for suffix, test := range map[string]struct {
+		damage func(path string)
 		schema Schema
 	}{
-		".newer-1":   {func(string) {}, schemaV1},
-		".foreign-1": {func(string) {}, Schema{Kind: "other", Migrations: schemaV2.Migrations}},
-		".torn-1":    {truncate, schemaV2},
+		".newer-1":   {intact, schemaV1},
+		".foreign-1": {intact, Schema{Kind: "other", Migrations: schemaV2.Migrations}},
+		".torn-1":    {truncated, schemaV2},
 	} {
-		path := copyStored(t)
-		c.spoil(path)
-		if s := mustOpen(t, path, c.schema); s.QuarantinePath != path+suffix {
-			t.Errorf("set aside as %q, want %q", s.QuarantinePath, path+suffix)
-		}
+		t.Run(suffix, func(t *testing.T) {
+			path := copyStored(t)
+			test.damage(path)
+			if store := mustOpen(t, path, test.schema); store.QuarantinePath != path+suffix {
+				t.Errorf("quarantined as %q, want %q", store.QuarantinePath, path+suffix)
+			}
+		})
 	}
 }
