--- a/internal/keyfile/keyfile_test.go
+++ b/internal/keyfile/keyfile_test.go
@@ -11,7 +11,7 @@
 func TestCreateAndLoadKeys(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "keys")
 	if _, err := Load(dir); err == nil || !strings.Contains(err.Error(), "coralctl key new") {
-		t.Errorf("no folder: %v", err)
+		t.Errorf("no directory: %v", err)
 	}
 	path, id, err := Create(dir, time.Now().Add(-time.Minute))
 	if err != nil {
@@ -20,34 +20,42 @@
 	if _, _, err := Create(dir, time.Now().Add(time.Hour)); err != nil {
 		t.Fatal(err)
 	}
-	r, err := Load(dir)
-	if err != nil || len(r.Keys()) != 2 {
-		t.Fatal(r, err)
+	ring, err := Load(dir)
+	if err != nil || len(ring.Keys()) != 2 {
+		t.Fatal(ring, err)
 	}
-	if k, ok := r.SigningKey(time.Now()); !ok || k.ID != id {
-		t.Errorf("%v signs, want %v", k, id)
+	if key, ok := ring.SigningKey(time.Now()); !ok || key.ID != id {
+		t.Errorf("%v signs, want %v", key, id)
 	}
-	good, _ := os.ReadFile(path)
-	for name, change := range map[string]func(){
+	intact, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret := strings.Fields(string(intact))[6]
+	write := func(text []byte) { _ = os.WriteFile(path, text, 0o600) }
+	for name, damage := range map[string]func(){
 		"others may read it": func() { _ = os.Chmod(path, 0o640) },
-		"cut":                func() { _ = os.WriteFile(path, good[:len(good)-3], 0o600) },
-		"no time": func() {
-			_ = os.WriteFile(path, []byte(strings.Replace(string(good), "signs-from 2", "signs-from x", 1)), 0o600)
-		},
-		"too large": func() { _ = os.WriteFile(path, make([]byte, 5000), 0o600) },
+		"cut":                func() { write(intact[:len(intact)-3]) },
+		"no time":            func() { write([]byte(strings.Replace(string(intact), "signs-from 2", "signs-from x", 1))) },
+		"too large":          func() { write(make([]byte, 5000)) },
 	} {
-		change()
-		_, err := Load(dir)
-		if err == nil || !strings.Contains(err.Error(), path) {
-			t.Errorf("%s: %v, want an error that names the file", name, err)
-		}
-		if secret := strings.Fields(string(good))[6]; err != nil && strings.Contains(err.Error(), secret[:20]) {
-			t.Errorf("%s: the error tells the secret", name)
-		}
-		_ = os.Chmod(path, 0o600)
-		_ = os.WriteFile(path, good, 0o600)
+		t.Run(name, func(t *testing.T) {
+			damage()
+			_, err := Load(dir)
+			requireSafeError(t, err, path, secret)
+			_ = os.Chmod(path, 0o600)
+			write(intact)
+		})
 	}
 	if _, err := Load(dir); err != nil {
 		t.Error(err)
 	}
 }
+
+// requireSafeError checks that an error names the file and does not contain the secret.
+func requireSafeError(t *testing.T, err error, path, secret string) {
+	t.Helper()
+	if err == nil || !strings.Contains(err.Error(), path) || strings.Contains(err.Error(), secret[:20]) {
+		t.Errorf("%v, want an error that names the file and not the secret", err)
+	}
+}
--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -26,7 +26,7 @@
 	secondStartsAt = time.Date(2027, 2, 16, 9, 30, 2, 0, time.UTC)
 )
 
-// copyStored returns a folder with a copy of testdata/stored/name, readable by its owner
+// copyStored returns a directory with a copy of testdata/stored/name, readable by its owner
 // alone, which git does not keep.
 func copyStored(t *testing.T, name string) string {
 	t.Helper()
@@ -46,31 +46,34 @@
 	return dir
 }
 
-// sameButDrawn tells whether two key files are the same bytes but for the words of these
-// numbers, which are drawn at random.
-func requireSameExceptWords(t *testing.T, stored, written string, drawn ...int) {
+// requireSameExceptWords checks that two key files are the same bytes except for the words of
+// these numbers, which are drawn at random and only have the same length.
+func requireSameExceptWords(t *testing.T, storedPath, writtenPath string, random ...int) {
 	t.Helper()
-	var texts [2]string
-	for i, path := range []string{stored, written} {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
+	stored, written := readText(t, storedPath), readText(t, writtenPath)
+	storedWords, writtenWords := strings.Fields(stored), strings.Fields(written)
+	if len(storedWords) != len(writtenWords) {
+		t.Fatalf("%d words are written, %d are stored", len(writtenWords), len(storedWords))
+	}
+	for _, number := range random {
+		storedWord, writtenWord := storedWords[number], writtenWords[number]
+		if len(storedWord) != len(writtenWord) {
+			t.Errorf("word %d has %d bytes, stored are %d", number, len(writtenWord), len(storedWord))
 		}
-		texts[i] = string(text)
+		written = strings.Replace(written, writtenWord, storedWord, 1)
 	}
-	words, fresh := strings.Fields(texts[0]), strings.Fields(texts[1])
-	if len(words) != len(fresh) {
-		t.Fatalf("%d words are written, %d are stored", len(fresh), len(words))
+	if stored != written {
+		t.Errorf("written %q, stored %q", written, stored)
 	}
-	for _, at := range drawn {
-		if len(words[at]) != len(fresh[at]) {
-			t.Errorf("word %d has %d bytes, stored are %d", at, len(fresh[at]), len(words[at]))
-		}
-		texts[1] = strings.Replace(texts[1], fresh[at], words[at], 1)
-	}
-	if texts[0] != texts[1] {
-		t.Errorf("written %q, stored %q", texts[1], texts[0])
+}
+
+func readText(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return string(text)
 }
 
 func TestReadsStoredKeys(t *testing.T) {
@@ -87,24 +90,24 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var want []*resumetoken.Key // that which signs last first
-	for _, k := range []struct {
-		id     resumetoken.KeyID
-		from   time.Time
-		secret string
+	var want []*resumetoken.Key // the one that signs last first
+	for _, key := range []struct {
+		id              resumetoken.KeyID
+		signingStartsAt time.Time
+		secret          string
 	}{
 		{0xe10e5335, secondStartsAt, "2c7d6fc63582c1fa1b9626eb21282360b8f6ce833d7463e0775e9ac61e987ab1"},
 		{0x78b29d51, firstStartsAt, "103215ca08f9287cdf93ca97c3ba5df5d1843b717f2c152d39b0f031294fc2d1"},
 	} {
-		secret, err := hex.DecodeString(k.secret)
+		secret, err := hex.DecodeString(key.secret)
 		if err != nil {
 			t.Fatal(err)
 		}
-		key, err := resumetoken.NewKey(k.id, k.from, secret)
+		wanted, err := resumetoken.NewKey(key.id, key.signingStartsAt, secret)
 		if err != nil {
 			t.Fatal(err)
 		}
-		want = append(want, key)
+		want = append(want, wanted)
 	}
 	if got := ring.Keys(); !reflect.DeepEqual(got, want) {
 		t.Errorf("read %+v, want %+v", got, want)
@@ -128,12 +131,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, want := hex.EncodeToString(private.Seed()), "9c81cf84f3845e2a4211f2c2dae478e33ac7b0a11242cc083b638d823edc3c45"; got != want {
-		t.Errorf("read seed %s, want %s", got, want)
+	const wantSeed = "9c81cf84f3845e2a4211f2c2dae478e33ac7b0a11242cc083b638d823edc3c45"
+	if got := hex.EncodeToString(private.Seed()); got != wantSeed {
+		t.Errorf("read seed %s, want %s", got, wantSeed)
 	}
 	public, _ := private.Public().(ed25519.PublicKey)
-	if got, want := hex.EncodeToString(public), "328283e1c3abcc953609b2eb1f4551625caae0a473ab55fa5c5aed25a2f72c83"; got != want {
-		t.Errorf("read public key %s, want %s", got, want)
+	const wantPublic = "328283e1c3abcc953609b2eb1f4551625caae0a473ab55fa5c5aed25a2f72c83"
+	if got := hex.EncodeToString(public); got != wantPublic {
+		t.Errorf("read public key %s, want %s", got, wantPublic)
 	}
 	path, _, err := CreateAuthority(t.TempDir(), "root.authority")
 	if err != nil {
