--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -48,19 +48,19 @@
 
 // requireSameExceptWords checks that two key files are the same bytes except for the words of
 // these numbers, which are drawn at random and only have the same length.
-func requireSameExceptWords(t *testing.T, storedPath, writtenPath string, random ...int) {
+func requireSameExceptFields(t *testing.T, storedPath, writtenPath string, random ...int) {
 	t.Helper()
 	stored, written := readText(t, storedPath), readText(t, writtenPath)
-	storedWords, writtenWords := strings.Fields(stored), strings.Fields(written)
-	if len(storedWords) != len(writtenWords) {
-		t.Fatalf("%d words are written, %d are stored", len(writtenWords), len(storedWords))
+	storedFields, writtenFields := strings.Fields(stored), strings.Fields(written)
+	if len(storedFields) != len(writtenFields) {
+		t.Fatalf("%d words are written, %d are stored", len(writtenFields), len(storedFields))
 	}
 	for _, number := range random {
-		storedWord, writtenWord := storedWords[number], writtenWords[number]
-		if len(storedWord) != len(writtenWord) {
-			t.Errorf("word %d has %d bytes, stored are %d", number, len(writtenWord), len(storedWord))
+		storedField, writtenField := storedFields[number], writtenFields[number]
+		if len(storedField) != len(writtenField) {
+			t.Errorf("word %d has %d bytes, stored are %d", number, len(writtenField), len(storedField))
 		}
-		written = strings.Replace(written, writtenWord, storedWord, 1)
+		written = strings.Replace(written, writtenField, storedField, 1)
 	}
 	if stored != written {
 		t.Errorf("written %q, stored %q", written, stored)
@@ -116,7 +116,7 @@
 	if err != nil || filepath.Base(path) != id.String()+".key" {
 		t.Fatalf("key %v is written to %s: %v", id, path, err)
 	}
-	requireSameExceptWords(t, filepath.Join(dir, "e10e5335.key"), path, 2, 6)
+	requireSameExceptFields(t, filepath.Join(dir, "e10e5335.key"), path, 2, 6)
 }
 
 func TestReadsStoredAuthority(t *testing.T) {
@@ -144,5 +144,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	requireSameExceptWords(t, stored, path, 4, 6)
+	requireSameExceptFields(t, stored, path, 4, 6)
 }
--- a/internal/replayguard/cluster_test.go
+++ b/internal/replayguard/cluster_test.go
@@ -163,8 +163,8 @@
 		t.Errorf("at its arbiter: %+v", outcome)
 	}
 	config.ClockSkew, config.ArbiterTimeout = 0, 20*time.Millisecond
-	stranger := NewService("n9", cluster.guards[0], config, nil)
-	outcome = stranger.Redeem(context.Background(), presentationOf(token))
+	unrelated := NewService("n9", cluster.guards[0], config, nil)
+	outcome = unrelated.Redeem(context.Background(), presentationOf(token))
 	if outcome.Verdict != resumetoken.ArbiterUnreachable {
 		t.Errorf("an arbiter that is no peer: %+v", outcome)
 	}
--- a/internal/replayguard/protocol.go
+++ b/internal/replayguard/protocol.go
@@ -29,10 +29,10 @@
 	verdictMessage = "VERDICT" // the response to spendMessage
 	refusedMessage = "NO"
 
-	readyWord    = "ready"
-	notReadyWord = "full"
-	durableWord  = "stays"
-	volatileWord = "goes"
+	readyValue    = "ready"
+	notReadyValue = "full"
+	durableValue  = "stays"
+	volatileValue = "goes"
 
 	// requestContext is the MAC's context of a request.
 	requestContext = "ask"
@@ -120,12 +120,12 @@
 
 // statusLine is the response to a HELLO.
 func (r request) statusLine(status resumetoken.Candidate) string {
-	readiness, durability := notReadyWord, volatileWord
+	readiness, durability := notReadyValue, volatileValue
 	if status.IsReady {
-		readiness = readyWord
+		readiness = readyValue
 	}
 	if status.IsDurable {
-		durability = durableWord
+		durability = durableValue
 	}
 	return authenticatedLine(r.key, responseContext(r.challenge),
 		statusMessage, r.sequence, status.Name, hex.EncodeToString(status.GuardID[:]), readiness, durability)
@@ -140,8 +140,8 @@
 func parseStatus(fields []string, peer string) (resumetoken.Candidate, error) {
 	status := resumetoken.Candidate{
 		Name:      peer,
-		IsReady:   fields[4] == readyWord,
-		IsDurable: fields[5] == durableWord,
+		IsReady:   fields[4] == readyValue,
+		IsDurable: fields[5] == durableValue,
 	}
 	if fields[2] != peer {
 		return status, &protocolError{problem: "peer has another name", line: fields[2]}
--- a/internal/store/pagetree.go
+++ b/internal/store/pagetree.go
@@ -66,11 +66,11 @@
 
 // visit marks a page as visited. It is false if the page was visited before.
 func (c *treeChecker) visit(page uint64) bool {
-	word, bit := &c.visited[page/64], uint64(1)<<(page%64)
-	if *word&bit != 0 {
+	bits, bit := &c.visited[page/64], uint64(1)<<(page%64)
+	if *bits&bit != 0 {
 		return false
 	}
-	*word |= bit
+	*bits |= bit
 	return true
 }
 
@@ -83,8 +83,8 @@
 	flags := binary.NativeEndian.Uint16(contents[8:])
 	count := int(binary.NativeEndian.Uint16(contents[10:]))
 	isBranch, isLeaf := flags == branchPageFlag, flags == leafPageFlag
-	hasRoom := pageHeaderSize+count*elementSize <= len(contents)
-	if !isBranch && !isLeaf || !hasRoom || isBranch && count == 0 {
+	elementsFit := pageHeaderSize+count*elementSize <= len(contents)
+	if !isBranch && !isLeaf || !elementsFit || isBranch && count == 0 {
 		return fmt.Errorf("page %d: kind %#x with %d elements", id, flags, count)
 	}
 	var previousKey []byte
