--- a/internal/keyfile/stored_test.go
+++ b/internal/keyfile/stored_test.go
@@ -46,19 +46,19 @@
 	return dir
 }
 
-// requireSameExceptWords checks that two key files are the same bytes except for the words of
+// requireSameExceptFields checks that two key files are the same bytes except for the fields of
 // these numbers, which are drawn at random and only have the same length.
 func requireSameExceptFields(t *testing.T, storedPath, writtenPath string, random ...int) {
 	t.Helper()
 	stored, written := readText(t, storedPath), readText(t, writtenPath)
 	storedFields, writtenFields := strings.Fields(stored), strings.Fields(written)
 	if len(storedFields) != len(writtenFields) {
-		t.Fatalf("%d words are written, %d are stored", len(writtenFields), len(storedFields))
+		t.Fatalf("%d fields are written, %d are stored", len(writtenFields), len(storedFields))
 	}
 	for _, number := range random {
 		storedField, writtenField := storedFields[number], writtenFields[number]
 		if len(storedField) != len(writtenField) {
-			t.Errorf("word %d has %d bytes, stored are %d", number, len(writtenField), len(storedField))
+			t.Errorf("field %d has %d bytes, stored are %d", number, len(writtenField), len(storedField))
 		}
 		written = strings.Replace(written, writtenField, storedField, 1)
 	}
