--- a/cmd/coralrelay/operations.go
+++ b/cmd/coralrelay/operations.go
@@ -149,7 +149,7 @@
 }
 
 func (n adminNode) Metrics() string {
-	return n.metrics.Text(metrics.Gauges{Open: n.OpenSessions(), Listed: n.pool.EndpointCount(), Avoided: n.eventLoop.AvoidedCount()})
+	return n.metrics.Text(metrics.Gauges{OpenSessions: n.OpenSessions(), ListedEndpoints: n.pool.EndpointCount(), AvoidedEndpoints: n.eventLoop.AvoidedCount()})
 }
 
 func (n adminNode) LameDuck() {
--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -72,7 +72,7 @@
 	}
 	b, known := h.instances[d.Instance]
 	if !known {
-		return fmt.Errorf("batch %d: %s for instance %d, which was never started", batch.Round, d.Cmd, d.Instance)
+		return fmt.Errorf("batch %d: %s for instance %d, which was never started", batch.Round, d.Command, d.Instance)
 	}
 	if b == nil {
 		return nil
@@ -100,7 +100,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			h.reply = simproto.AppendError(h.reply, d.Instance, fmt.Sprint(p))
-			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
+			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Command, p, debug.Stack())
 		}
 	}()
 	h.actions = b.Handle(batch.Now, d.Event, h.actions[:0])
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -20,15 +20,15 @@
 	// Callers is how many may call at once, and so how many sockets they take.
 	MaxCalls = 16
 	// patience is how long a caller may take for its line.
-	patience = 3 * time.Second
+	requestTimeout = 3 * time.Second
 	// glance is what a caller who has to make room is still given for a line that
 	// lies in its socket: the node may have been too busy to read it.
-	glance = 5 * time.Millisecond
+	bufferedLineTimeout = 5 * time.Millisecond
 	// writing is how long an answer may block.
-	writing = time.Second
+	writeTimeout = time.Second
 	// linger is how long a caller may take to end after an answer that came before
 	// all that it sends.
-	linger = 100 * time.Millisecond
+	lingerTimeout = 100 * time.Millisecond
 )
 
 // Node is what operators ask about and tell. Its methods return at once.
@@ -41,89 +41,89 @@
 
 // Server answers operators.
 type Server struct {
-	node  Node
-	slots chan struct{} // a caller each
-	bad   logging.Throttled
+	node          Node
+	callSlots     chan struct{} // a caller each
+	rejectedCalls logging.Throttled
 
-	mu     sync.Mutex
-	silent []net.Conn // have not said a whole line yet, the oldest first
-	wg     sync.WaitGroup
+	mu              sync.Mutex
+	awaitingRequest []net.Conn // have not said a whole line yet, the oldest first
+	wg              sync.WaitGroup
 }
 
 // New returns a Server for node.
-func New(node Node) *Server { return &Server{node: node, slots: make(chan struct{}, MaxCalls)} }
+func New(node Node) *Server { return &Server{node: node, callSlots: make(chan struct{}, MaxCalls)} }
 
 // Serve accepts callers until the listener is closed, and waits for those that are
 // there.
 func (s *Server) Serve(listener net.Listener) error {
 	defer s.wg.Wait()
-	defer s.makeRoom(MaxCalls)
+	defer s.expireOldest(MaxCalls)
 	for {
 		conn, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil: // out of sockets, most likely
-			s.bad.Warn("accept of an operator's call", "err", err)
+			s.rejectedCalls.Warn("accept of an operator's call", "err", err)
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
 		select {
-		case s.slots <- struct{}{}:
+		case s.callSlots <- struct{}{}:
 		default: // half at once, so that a crowd of silent ones delays nobody for long
-			s.makeRoom(MaxCalls / 2)
-			s.slots <- struct{}{}
+			s.expireOldest(MaxCalls / 2)
+			s.callSlots <- struct{}{}
 		}
-		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		s.mu.Lock()
-		s.silent = append(s.silent, conn)
+		s.awaitingRequest = append(s.awaitingRequest, conn)
 		s.mu.Unlock()
 		s.wg.Go(func() {
-			s.serve(conn)
-			<-s.slots
+			s.handle(conn)
+			<-s.callSlots
 		})
 	}
 }
 
 // makeRoom ends the wait of the n that have been silent longest.
-func (s *Server) makeRoom(n int) {
+func (s *Server) expireOldest(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n = min(n, len(s.silent))
-	for _, conn := range s.silent[:n] {
+	n = min(n, len(s.awaitingRequest))
+	for _, conn := range s.awaitingRequest[:n] {
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
-	s.silent = slices.Delete(s.silent, 0, n)
+	s.awaitingRequest = slices.Delete(s.awaitingRequest, 0, n)
 }
 
 // spoken takes conn off the silent ones; nobody moves its deadline any more.
-func (s *Server) spoken(conn net.Conn) {
+func (s *Server) requestReceived(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i := slices.Index(s.silent, conn); i >= 0 {
-		s.silent = slices.Delete(s.silent, i, i+1)
+	if i := slices.Index(s.awaitingRequest, conn); i >= 0 {
+		s.awaitingRequest = slices.Delete(s.awaitingRequest, i, i+1)
 	}
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) handle(conn net.Conn) {
 	l := bufconn.New(conn)
 	text, err := l.ReadTextLine()
-	s.spoken(conn)
+	s.requestReceived(conn)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		text, err = l.ReadTextLineBefore(time.Now().Add(glance))
+		text, err = l.ReadTextLineBefore(time.Now().Add(bufferedLineTimeout))
 	}
 	answer := ""
 	if err != nil {
 		answer = "400 no whole line"
-		s.bad.Warn("operator's call rejected", "from", conn.RemoteAddr().String(), "err", err)
+		s.rejectedCalls.Warn("operator's call rejected", "from", conn.RemoteAddr().String(), "err", err)
 	} else {
 		answer = s.answer(string(text), conn)
 	}
 	if errors.Is(err, bufio.ErrBufferFull) || err == nil && l.R.Buffered() > 0 { // there may be more
-		l.LingeringClose(answer, time.Now().Add(writing), linger)
+		l.LingeringClose(answer, time.Now().Add(writeTimeout), lingerTimeout)
 		return
 	}
-	_ = l.WriteLine(answer, time.Now().Add(writing))
+	_ = l.WriteLine(answer, time.Now().Add(writeTimeout))
 	l.Release()
 }
 
@@ -144,6 +144,6 @@
 		s.node.Rejoin()
 		return "200 taking clients"
 	}
-	s.bad.Warn("operator's call unknown", "from", conn.RemoteAddr().String())
+	s.rejectedCalls.Warn("operator's call unknown", "from", conn.RemoteAddr().String())
 	return "400 unknown call: PING, INFO, LAMEDUCK or REJOIN"
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -12,25 +12,25 @@
 	"time"
 )
 
-const due = time.Second // for every answer
+const answerLimit = time.Second // for every answer
 
-type node struct {
-	away           atomic.Bool
-	lames, rejoins atomic.Int32
+type fakeNode struct {
+	draining           atomic.Bool
+	lameDucks, rejoins atomic.Int32
 }
 
-func (n *node) AcceptsClients() bool { return !n.away.Load() }
-func (n *node) Metrics() string      { return "balancer.open_requests:14|g\r\n" }
-func (n *node) LameDuck()            { n.lames.Add(1); n.away.Store(true) }
-func (n *node) Rejoin()              { n.rejoins.Add(1); n.away.Store(false) }
+func (n *fakeNode) AcceptsClients() bool { return !n.draining.Load() }
+func (n *fakeNode) Metrics() string      { return "balancer.open_requests:14|g\r\n" }
+func (n *fakeNode) LameDuck()            { n.lameDucks.Add(1); n.draining.Store(true) }
+func (n *fakeNode) Rejoin()              { n.rejoins.Add(1); n.draining.Store(false) }
 
-func start(t testing.TB) (addr string, n *node) {
+func startServer(t testing.TB) (addr string, n *fakeNode) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	n = &node{}
+	n = &fakeNode{}
 	ended := make(chan error, 1)
 	go func() { ended <- New(n).Serve(l) }()
 	t.Cleanup(func() {
@@ -59,14 +59,14 @@
 	t.Helper()
 	begun := time.Now()
 	all, err := io.ReadAll(dial(t, addr, text))
-	if took := time.Since(begun); err != nil || took > due {
+	if took := time.Since(begun); err != nil || took > answerLimit {
 		t.Errorf("%.20q: %v after %v", text, err, took)
 	}
 	return string(all)
 }
 
-func TestCalls(t *testing.T) {
-	addr, n := start(t)
+func TestAnswersEachCall(t *testing.T) {
+	addr, n := startServer(t)
 	for _, c := range []struct{ call, want string }{
 		{"PING\r\n", "200 OK\r\n"},
 		{"PING\n", "200 OK\r\n"},
@@ -88,15 +88,15 @@
 			t.Errorf("%.20q: %q, %v", c.call, all, err)
 		}
 	}
-	if n.lames.Load() != 2 || n.rejoins.Load() != 1 {
-		t.Errorf("%d drains, %d ends", n.lames.Load(), n.rejoins.Load())
+	if n.lameDucks.Load() != 2 || n.rejoins.Load() != 1 {
+		t.Errorf("%d drains, %d ends", n.lameDucks.Load(), n.rejoins.Load())
 	}
 }
 
 // Callers who stay and say nothing, or half a call, keep no answer from anybody, and
 // neither do many calls at once.
-func TestCrowd(t *testing.T) {
-	addr, _ := start(t)
+func TestSilentCallersDelayNobody(t *testing.T) {
+	addr, _ := startServer(t)
 	for i := range 8 * MaxCalls {
 		dial(t, addr, []string{"", "PIN", strings.Repeat("P", 3000)}[i%3])
 	}
@@ -113,16 +113,16 @@
 
 // A caller's end comes by itself, and so does that of a Server whose callers stay: in
 // exact time, as the bubble sees whatever would be left behind.
-func TestSilentCallersEnd(t *testing.T) {
+func TestSilentCallerIsAnsweredAfterTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(&node{})
+		s := New(&fakeNode{})
 		near, far := net.Pipe()
 		begun := time.Now()
-		s.slots <- struct{}{}
-		s.wg.Go(func() { s.serve(near); <-s.slots })
-		_ = near.SetReadDeadline(time.Now().Add(patience))
+		s.callSlots <- struct{}{}
+		s.wg.Go(func() { s.handle(near); <-s.callSlots })
+		_ = near.SetReadDeadline(time.Now().Add(requestTimeout))
 		text, _ := bufio.NewReader(far).ReadString('\n')
-		if took := time.Since(begun); took > patience+glance || !strings.HasPrefix(text, "400 ") {
+		if took := time.Since(begun); took > requestTimeout+bufferedLineTimeout || !strings.HasPrefix(text, "400 ") {
 			t.Errorf("%q after %v", text, took)
 		}
 		far.Close()
@@ -136,10 +136,10 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		s := New(&node{})
+		s := New(&fakeNode{})
 		near, far := net.Pipe()
 		done := make(chan struct{})
-		go func() { defer close(done); s.serve(near) }()
+		go func() { defer close(done); s.handle(near) }()
 		go func() {
 			_, _ = far.Write(sent)
 			_ = near.SetReadDeadline(time.Unix(1, 0)) // nothing more will come
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -77,7 +77,7 @@
 // open runs a transaction to its end.
 func (s *Server) runSession(client *pendingClient, conn *bufconn.Conn, request lineproto.ConnectRequest) {
 	session := proxy.New(proxy.Request{ID: request.ID, Class: request.Class, Key: request.Key, Group: request.Group, Tenant: request.Tenant, CurrentServer: request.Endpoint,
-		Hint: request.Hint, Retry: request.Retry, Returned: request.Returned, Deadline: time.Now().Add(min(request.Patience, maxRequestTimeout) - deadlineMargin)},
+		Hint: request.LoadHint, Retry: request.Retry, Returned: request.Returned, Deadline: time.Now().Add(min(request.Patience, maxRequestTimeout) - deadlineMargin)},
 		&request, lineproto.Codec{}, s.dispatcher, conn)
 	session.Metrics = s.Metrics.Class(request.Class)
 	if !s.admit(session, client) {
--- a/internal/lineproto/codec.go
+++ b/internal/lineproto/codec.go
@@ -31,7 +31,7 @@
 	text = bytes.TrimRight(text, "\r\n")
 	switch {
 	case bytes.HasPrefix(text, []byte("LOAD ")):
-		if _, err := number(string(text[len("LOAD "):])); err == nil {
+		if _, err := parseNumber(string(text[len("LOAD "):])); err == nil {
 			return proxy.LineLoadReport
 		}
 	case bytes.Equal(text, []byte(Move)):
--- a/internal/lineproto/line.go
+++ b/internal/lineproto/line.go
@@ -25,22 +25,22 @@
 )
 
 // longestWait bounds d; beyond it a duration would overflow.
-const longestWait = 24 * time.Hour
+const maxPatience = 24 * time.Hour
 
 // heaviest bounds h. In microseconds of work a second, the finest unit that loads come
 // in, it is a thousand cores.
-const heaviest = 1e9
+const maxLoadHint = 1e9
 
 // Open is a first line that opens a connection.
 type ConnectRequest struct {
 	ID, Key, Class, Group, Endpoint string
 	Tenant                          string        // the tenant; empty where the line names none
 	Patience                        time.Duration // d: how long the caller waits for UP
-	Hint                            float64
+	LoadHint                        float64
 	Retry, Returned                 bool
 	ResumeToken                     string // rs: a resume token, or 1 to be given one; empty if not asked for
 	ResumePosition                  string // rp: the position that the caller has, if it says so
-	head, tail                      string // the line as it came, before and after d's value
+	beforePatience, afterPatience   string // the line as it came, before and after d's value
 }
 
 // ParseOpen reads a first line. The line may only hold printable ASCII.
@@ -51,37 +51,37 @@
 		}
 	}
 	s := string(text)
-	words := strings.Split(s, " ")
-	if len(words) != 4 || words[0] != "OPEN" || words[1] == "" || words[2] == "" {
+	fields := strings.Split(s, " ")
+	if len(fields) != 4 || fields[0] != "OPEN" || fields[1] == "" || fields[2] == "" {
 		return ConnectRequest{}, errors.New("first line: want OPEN, id, key and a list of values")
 	}
-	o := ConnectRequest{ID: words[1], Key: words[2]}
-	at := len(s) - len(words[3])
-	var given []string
-	for pair := range strings.SplitSeq(words[3], ",") {
+	request := ConnectRequest{ID: fields[1], Key: fields[2]}
+	offset := len(s) - len(fields[3])
+	var seen []string
+	for pair := range strings.SplitSeq(fields[3], ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok || name == "" {
 			return ConnectRequest{}, fmt.Errorf("first line: %.40q is no name and value", pair)
 		}
-		if slices.Contains(given, name) {
+		if slices.Contains(seen, name) {
 			return ConnectRequest{}, fmt.Errorf("first line: %.40q given twice", name)
 		}
-		given = append(given, name)
-		if err := o.set(name, value); err != nil {
+		seen = append(seen, name)
+		if err := request.setField(name, value); err != nil {
 			return ConnectRequest{}, fmt.Errorf("first line: %s: %w", name, err)
 		}
 		if name == "d" {
-			o.head, o.tail = s[:at+2], s[at+len(pair):]
+			request.beforePatience, request.afterPatience = s[:offset+2], s[offset+len(pair):]
 		}
-		at += len(pair) + 1
+		offset += len(pair) + 1
 	}
-	if o.Class == "" || o.head == "" {
+	if request.Class == "" || request.beforePatience == "" {
 		return ConnectRequest{}, errors.New("first line: c or d is missing")
 	}
-	return o, nil
+	return request, nil
 }
 
-func (o *ConnectRequest) set(name, value string) error {
+func (o *ConnectRequest) setField(name, value string) error {
 	switch name {
 	case "c":
 		o.Class = value
@@ -100,18 +100,18 @@
 	case "again":
 		o.Returned = value == "1"
 	case "h":
-		h, err := number(value)
-		if err == nil && (h < 0 || h > heaviest) {
+		h, err := parseNumber(value)
+		if err == nil && (h < 0 || h > maxLoadHint) {
 			err = fmt.Errorf("%.40q is out of range", value)
 		}
-		o.Hint = h
+		o.LoadHint = h
 		return err
 	case "d":
-		ms, err := number(value)
+		ms, err := parseNumber(value)
 		if err != nil {
 			return err
 		}
-		if ms < 0 || ms > float64(longestWait/time.Millisecond) {
+		if ms < 0 || ms > float64(maxPatience/time.Millisecond) {
 			return fmt.Errorf("%.40q is out of range", value)
 		}
 		o.Patience = time.Duration(ms * float64(time.Millisecond))
@@ -121,7 +121,7 @@
 
 // number reads a finite decimal number. Go's other forms, such as 0x1p4 and 1_0,
 // are none to a next hop that gets the line as it came.
-func number(s string) (float64, error) {
+func parseNumber(s string) (float64, error) {
 	f, err := strconv.ParseFloat(s, 64)
 	if err != nil || strings.Trim(s, "0123456789+-.eE") != "" || math.IsNaN(f) || math.IsInf(f, 0) {
 		return 0, fmt.Errorf("%.40q is no number", s)
@@ -133,18 +133,18 @@
 // the time that is left.
 func (o *ConnectRequest) ForwardLine(now, deadline time.Time) string {
 	left := max(deadline.Sub(now).Milliseconds(), 0)
-	return o.head + strconv.FormatInt(left, 10) + o.tail
+	return o.beforePatience + strconv.FormatInt(left, 10) + o.afterPatience
 }
 
 // Conceal takes a resume token out of the line that goes to next hops: whoever has
 // a token can present it. What stays asks for a stream with positions.
 func (o *ConnectRequest) StripResumption() {
 	pair, plain := "rs="+o.ResumeToken, "rs="+ResumeWanted
-	for _, part := range []*string{&o.head, &o.tail} {
+	for _, part := range []*string{&o.beforePatience, &o.afterPatience} {
 		// The list is the last word, and its names come once: the pair stands there
 		// behind the list's begin or a comma.
 		at := strings.LastIndexByte(*part, ' ') + 1
-		if part == &o.tail {
+		if part == &o.afterPatience {
 			at = 0
 		}
 		list := strings.Split((*part)[at:], ",")
@@ -171,26 +171,26 @@
 // ParseReply reads a next hop's first answer and, where it ends with one, its
 // load report.
 func ParseReply(text []byte) (Reply, balance.LoadReport) {
-	word, rest, _ := bytes.Cut(text, []byte(" "))
-	switch string(word) {
+	keyword, rest, _ := bytes.Cut(text, []byte(" "))
+	switch string(keyword) {
 	case "UP":
 		if len(rest) > 0 {
 			return Up, balance.EmptyLoadReport
 		}
 	case "BUSY":
-		return Busy, reportOrNone(rest)
+		return Busy, reportOrEmpty(rest)
 	case Error:
-		return ErrReply, reportOrNone(rest)
+		return ErrReply, reportOrEmpty(rest)
 	case "BYE":
-		return Bye, reportOrNone(rest)
+		return Bye, reportOrEmpty(rest)
 	case Move:
 		return Moved, balance.EmptyLoadReport
 	}
 	return Malformed, balance.EmptyLoadReport
 }
 
-func reportOrNone(rest []byte) balance.LoadReport {
-	l, err := ParseReport(rest)
+func reportOrEmpty(rest []byte) balance.LoadReport {
+	l, err := ParseLoadReport(rest)
 	if err != nil {
 		return balance.EmptyLoadReport
 	}
@@ -199,18 +199,18 @@
 
 // ParseStats reads the answer to STATS.
 func ParseStats(text []byte) (balance.LoadReport, error) {
-	word, rest, _ := bytes.Cut(text, []byte(" "))
-	if string(word) != Pong {
+	keyword, rest, _ := bytes.Cut(text, []byte(" "))
+	if string(keyword) != Pong {
 		return balance.EmptyLoadReport, fmt.Errorf("stats: %.40q is no %s", text, Pong)
 	}
-	return ParseReport(rest)
+	return ParseLoadReport(rest)
 }
 
 // ParseReport reads a load report. Its fields come under the names that the
 // settings' report.fields use at the site, or under the protocol's own; read
 // under one spelling only, a report loses fields without a word. Others are
 // passed over.
-func ParseReport(text []byte) (balance.LoadReport, error) {
+func ParseLoadReport(text []byte) (balance.LoadReport, error) {
 	l := balance.EmptyLoadReport
 	if len(text) == 0 {
 		return l, nil
@@ -220,7 +220,7 @@
 		if !ok {
 			return balance.EmptyLoadReport, fmt.Errorf("load report: %.40q is no name and value", pair)
 		}
-		v, err := number(string(value))
+		v, err := parseNumber(string(value))
 		if err != nil || v < 0 {
 			return balance.EmptyLoadReport, fmt.Errorf("load report: %s: %.40q is no load", name, value)
 		}
--- a/internal/lineproto/line_test.go
+++ b/internal/lineproto/line_test.go
@@ -9,13 +9,13 @@
 	"coralrelay/internal/proxy"
 )
 
-func TestParseOpen(t *testing.T) {
+func TestParsesConnectRequest(t *testing.T) {
 	tests := []struct {
 		name, line string
 		want       ConnectRequest // without its head and tail; zero if the line is malformed
 	}{
 		{"all", "OPEN 9b k1 c=chat,d=2000,g=5c,r=1,again=1,at=s-1,h=0.25,new=x",
-			ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Group: "5c", Endpoint: "s-1", Patience: 2 * time.Second, Hint: 0.25,
+			ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Group: "5c", Endpoint: "s-1", Patience: 2 * time.Second, LoadHint: 0.25,
 				Retry: true, Returned: true}},
 		{"least", "OPEN 9b k1 c=chat,d=1.5", ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Patience: 1500 * time.Microsecond}},
 		{"flags off", "OPEN 9b k1 r=0,again=0,c=chat,d=1", ConnectRequest{ID: "9b", Key: "k1", Class: "chat", Patience: time.Millisecond}},
@@ -44,7 +44,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			got, err := ParseConnectRequest([]byte(tt.line))
-			got.head, got.tail = "", ""
+			got.beforePatience, got.afterPatience = "", ""
 			if (err == nil) != (tt.want.ID != "") || err == nil && got != tt.want {
 				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
 			}
@@ -53,7 +53,7 @@
 }
 
 // The line goes on unchanged but for d: unknown names and their order stay.
-func TestForward(t *testing.T) {
+func TestForwardsLineWithTimeLeft(t *testing.T) {
 	now := time.Now()
 	tests := []struct{ line, want string }{
 		{"OPEN 9b k1 c=chat,d=2000,g=5c", "OPEN 9b k1 c=chat,d=1500,g=5c"},
@@ -77,7 +77,7 @@
 // Reports come under the settings' names at this site (seen on its sockets:
 // outstanding and recent_ms, not inflight and latency_ms) and under the
 // protocol's own in its examples.
-func TestParseStats(t *testing.T) {
+func TestParsesStats(t *testing.T) {
 	full := balance.LoadReport{Utilization: 0.5, CPUUtilization: 0.25, Inflight: 7, LatencyMillis: 12}
 	tests := []struct {
 		name, line string
@@ -105,7 +105,7 @@
 	}
 }
 
-func TestParseReply(t *testing.T) {
+func TestParsesReply(t *testing.T) {
 	tests := []struct {
 		line string
 		want Reply
@@ -124,7 +124,7 @@
 	}
 }
 
-func TestNotice(t *testing.T) {
+func TestClassifiesRelayedLine(t *testing.T) {
 	tests := []struct {
 		line string
 		want proxy.LineKind
@@ -141,7 +141,7 @@
 	}
 }
 
-func TestBusy(t *testing.T) {
+func TestFormatsBusyWithPause(t *testing.T) {
 	for pause, want := range map[time.Duration]string{0: "BUSY", 250 * time.Millisecond: "BUSY 250", time.Microsecond: "BUSY"} {
 		if got := (Codec{}).Busy(pause); got != want {
 			t.Errorf("%v: got %q, want %q", pause, got, want)
--- a/internal/lineproto/stream.go
+++ b/internal/lineproto/stream.go
@@ -27,12 +27,12 @@
 //	MOVE TOKEN                  to the caller
 const (
 	// Asked is the value of rs that asks for a resumable stream.
-	ResumeWanted = "1"
-	start        = "START"
-	resumed      = "RESUMED "
-	snapshot     = "SNAPSHOT "
-	update       = "UPD "
-	position     = "POS "
+	ResumeWanted   = "1"
+	startKeyword   = "START"
+	resumedPrefix  = "RESUMED "
+	snapshotPrefix = "SNAPSHOT "
+	updatePrefix   = "UPD "
+	positionPrefix = "POS "
 )
 
 // Resumable tells whether a next hop's UP line says that it has such streams.
@@ -44,60 +44,60 @@
 	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
 	switch {
 	case o.CanResume:
-		return start + " resume=" + o.Position.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
+		return startKeyword + " resume=" + o.Position.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
 	case o.HasMinPosition:
-		return start + " after=" + o.Position.String() + at
+		return startKeyword + " after=" + o.Position.String() + at
 	}
-	return start
+	return startKeyword
 }
 
 // Reading follows the position in a stream as its lines pass. Its zero value has
 // none yet.
 type StreamPosition struct {
-	pos   resumetoken.Position
-	known bool
-	left  int // lines of a snapshot that are still to come
-	next  resumetoken.Position
+	position          resumetoken.Position
+	known             bool
+	snapshotLinesLeft int // lines of a snapshot that are still to come
+	afterSnapshot     resumetoken.Position
 }
 
 // Position is how far the lines seen so far go. There is none before the stream
 // says so, nor within a snapshot: half of one is nothing to go on from.
-func (r *StreamPosition) Position() (resumetoken.Position, bool) { return r.pos, r.known }
+func (r *StreamPosition) Position() (resumetoken.Position, bool) { return r.position, r.known }
 
 // Pass takes one line of the next hop's.
 func (r *StreamPosition) Observe(text []byte) {
-	if r.left > 0 {
-		if r.left--; r.left == 0 {
-			r.pos, r.known = r.next, true
+	if r.snapshotLinesLeft > 0 {
+		if r.snapshotLinesLeft--; r.snapshotLinesLeft == 0 {
+			r.position, r.known = r.afterSnapshot, true
 		}
 		return
 	}
 	text = bytes.TrimRight(text, "\r\n")
-	if rest, ok := bytes.CutPrefix(text, []byte(update)); ok {
+	if rest, ok := bytes.CutPrefix(text, []byte(updatePrefix)); ok {
 		digits, _, _ := bytes.Cut(rest, []byte(" "))
 		if n, err := strconv.ParseUint(string(digits), 10, 64); err == nil && r.known {
-			r.pos.Offset = n
+			r.position.Offset = n
 			return
 		}
 		r.known = false // a numbering that can't be followed is none
 		return
 	}
-	if rest, ok := bytes.CutPrefix(text, []byte(snapshot)); ok {
+	if rest, ok := bytes.CutPrefix(text, []byte(snapshotPrefix)); ok {
 		at, count, _ := bytes.Cut(rest, []byte(" "))
 		n, err := strconv.Atoi(string(count))
 		r.known = false
 		if pos, err2 := resumetoken.ParsePosition(string(at)); err == nil && err2 == nil && n >= 0 {
-			r.next, r.left = pos, n
+			r.afterSnapshot, r.snapshotLinesLeft = pos, n
 			if n == 0 {
-				r.pos, r.known = pos, true
+				r.position, r.known = pos, true
 			}
 		}
 		return
 	}
-	for _, word := range []string{resumed, position} {
-		if rest, ok := bytes.CutPrefix(text, []byte(word)); ok {
+	for _, prefix := range []string{resumedPrefix, positionPrefix} {
+		if rest, ok := bytes.CutPrefix(text, []byte(prefix)); ok {
 			pos, err := resumetoken.ParsePosition(string(rest))
-			r.pos, r.known = pos, err == nil
+			r.position, r.known = pos, err == nil
 			return
 		}
 	}
--- a/internal/lineproto/stream_test.go
+++ b/internal/lineproto/stream_test.go
@@ -10,7 +10,7 @@
 
 // The position is that of the last whole line, and none where a client could not
 // go on from it.
-func TestReading(t *testing.T) {
+func TestFollowsStreamPosition(t *testing.T) {
 	for name, c := range map[string]struct{ lines, want string }{
 		"nothing yet":              {"", ""},
 		"other lines":              {"HEY 1|LOAD 3", ""},
@@ -40,7 +40,7 @@
 	}
 }
 
-func TestStart(t *testing.T) {
+func TestFormatsStreamStart(t *testing.T) {
 	came := time.UnixMilli(1234)
 	pos := resumetoken.Position{Epoch: 0xc0, Offset: 41}
 	for want, o := range map[string]resumetoken.Outcome{
@@ -55,7 +55,7 @@
 }
 
 // The token is gone from what next hops get, wherever it stood, and nothing else.
-func TestConceal(t *testing.T) {
+func TestStripsResumeToken(t *testing.T) {
 	now := time.Now()
 	for _, c := range []struct{ line, want string }{
 		{"OPEN a k c=feed,d=9,g=1,rs=TOK", "OPEN a k c=feed,d=9,g=1,rs=1"},
@@ -75,7 +75,7 @@
 	}
 }
 
-func FuzzParseOpen(f *testing.F) {
+func FuzzParseConnectRequest(f *testing.F) {
 	for _, seed := range []string{"OPEN a k c=feed,d=9,g=1,rs=TOK", "OPEN rs=1 rs=1 rs=1,c=f,d=1,at=s", "OPEN a k c=,d=1e3", "PING"} {
 		f.Add(seed)
 	}
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -84,7 +84,7 @@
 }
 
 // Gauges are what stands at the moment.
-type Gauges struct{ Open, Listed, Avoided int }
+type Gauges struct{ OpenSessions, ListedEndpoints, AvoidedEndpoints int }
 
 // Text words the figures, a line each.
 func (b *Registry) Text(g Gauges) string {
@@ -94,22 +94,22 @@
 	var w strings.Builder
 	line := func(name string, n int64, kind byte) { fmt.Fprintf(&w, "balancer.%s:%d|%c\r\n", name, n, kind) }
 	for _, c := range classes {
-		at := "operations." + strings.Map(plain, c.name)
+		at := "operations." + strings.Map(sanitizeRune, c.name)
 		line(at+".fulfilled", c.fulfilled.Load(), 'c')
 		line(at+".throttled", c.throttled.Load(), 'c')
 		line(at+".faulted", c.faulted.Load(), 'c')
 	}
 	line("relayed", b.relayed.Load(), 'c')
-	line("open_requests", int64(g.Open), 'g')
-	line("registry_entries", int64(g.Listed), 'g')
-	line("out_of_rotation", int64(g.Avoided), 'g')
+	line("open_requests", int64(g.OpenSessions), 'g')
+	line("registry_entries", int64(g.ListedEndpoints), 'g')
+	line("out_of_rotation", int64(g.AvoidedEndpoints), 'g')
 	line("cfg_accepted", b.ConfigsAccepted.Load(), 'c')
 	line("cfg_invalid", b.ConfigsRejected.Load(), 'c')
 	return w.String()
 }
 
 // plain keeps a class's name from breaking the line that it stands in.
-func plain(r rune) rune {
+func sanitizeRune(r rune) rune {
 	if r <= ' ' || r > '~' || r == ':' || r == '|' {
 		return '_'
 	}
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-func TestText(t *testing.T) {
+func TestTextListsCountersAndGauges(t *testing.T) {
 	var b Registry
 	b.AddClasses("feed", "chat")
 	b.Class("feed").Fulfilled()
@@ -33,14 +33,14 @@
 balancer.cfg_accepted:1|c
 balancer.cfg_invalid:2|c
 `, "\n", "\r\n")
-	if got := b.Text(Gauges{Open: 14, Listed: 5, Avoided: 2}); got != want {
+	if got := b.Text(Gauges{OpenSessions: 14, ListedEndpoints: 5, AvoidedEndpoints: 2}); got != want {
 		t.Errorf("got:\n%s", got)
 	}
 }
 
 // A stranger's class costs nothing and counts nowhere, and neither does a book that
 // nobody keeps.
-func TestUnnamed(t *testing.T) {
+func TestUnknownClassCountsNothing(t *testing.T) {
 	var b Registry
 	for _, c := range []*Class{b.Class("stranger"), (*Registry)(nil).Class("feed")} {
 		c.Fulfilled()
@@ -54,7 +54,7 @@
 }
 
 // A name stands in a line of its own, whatever is in it.
-func TestNames(t *testing.T) {
+func TestClassNameCannotBreakLine(t *testing.T) {
 	var b Registry
 	b.AddClasses("a b:c|d\r\ne")
 	if got := b.Text(Gauges{}); !strings.HasPrefix(got, "balancer.operations.a_b_c_d__e.fulfilled:0|c\r\n") {
@@ -63,7 +63,7 @@
 }
 
 // Counting goes on beside reading and naming.
-func TestTogether(t *testing.T) {
+func TestCountsBesideReadsAndNewClasses(t *testing.T) {
 	var b Registry
 	b.AddClasses("feed")
 	var wg sync.WaitGroup
--- a/internal/simproto/reader.go
+++ b/internal/simproto/reader.go
@@ -21,7 +21,7 @@
 	Start    *Start
 	Stop     bool
 	Event    balance.Event
-	Cmd      string // the message's name on the wire, for error texts
+	Command  string // the message's name on the wire, for error texts
 }
 
 // Start holds what a new instance is given.
@@ -39,66 +39,66 @@
 }
 
 // maxLine bounds one line; lists of large fleets run to megabytes.
-const maxLine = 1 << 30
+const maxLineBytes = 1 << 30
 
 // Reader reads batches.
 type Reader struct {
-	lines  *bufio.Scanner
-	tables map[int][]balance.ServerEntry
-	msg    message
-	round  int64
+	lines       *bufio.Scanner
+	serverLists map[int][]balance.ServerEntry
+	message     message
+	round       int64
 }
 
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader {
 	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 1<<16), maxLine)
-	return &Reader{lines: lines, tables: map[int][]balance.ServerEntry{}}
+	lines.Buffer(make([]byte, 1<<16), maxLineBytes)
+	return &Reader{lines: lines, serverLists: map[int][]balance.ServerEntry{}}
 }
 
 // message is the union of all incoming messages.
 type message struct {
-	Cmd           string             `json:"cmd"`
-	SimTime       float64            `json:"simTime"`
-	Round         int64              `json:"round"`
-	Who           int                `json:"who"`
-	Entropy       uint64             `json:"entropy"`
-	Env           json.RawMessage    `json:"env"`
-	Table         int                `json:"table"`
-	Nodes         []node             `json:"nodesList"`
-	Mode          string             `json:"mode"`
-	Ref           string             `json:"ref"`
-	CameBack      bool               `json:"cameBack"`
-	TeamID        string             `json:"teamId"`
-	Grade         string             `json:"grade"`
-	Cost          *float64           `json:"cost"`
-	AgainByClient bool               `json:"againByClient"`
-	Deadline      float64            `json:"deadline"`
-	Server        string             `json:"server"`
-	Hop           int                `json:"hop"`
-	Lag           float64            `json:"lag"`
-	RC            int                `json:"rc"`
-	Complete      bool               `json:"complete"`
-	Report        map[string]float64 `json:"report"`
-	Ctx           uint64             `json:"ctx"`
+	Cmd         string             `json:"cmd"`
+	SimTime     float64            `json:"simTime"`
+	Round       int64              `json:"round"`
+	Instance    int                `json:"who"`
+	Seed        uint64             `json:"entropy"`
+	Settings    json.RawMessage    `json:"env"`
+	List        int                `json:"table"`
+	Nodes       []serverStatus     `json:"nodesList"`
+	Mode        string             `json:"mode"`
+	Ref         string             `json:"ref"`
+	Returned    bool               `json:"cameBack"`
+	Group       string             `json:"teamId"`
+	Class       string             `json:"grade"`
+	LoadHint    *float64           `json:"cost"`
+	ClientRetry bool               `json:"againByClient"`
+	Deadline    float64            `json:"deadline"`
+	Server      string             `json:"server"`
+	Attempt     int                `json:"hop"`
+	Latency     float64            `json:"lag"`
+	OutcomeCode int                `json:"rc"`
+	Final       bool               `json:"complete"`
+	Report      map[string]float64 `json:"report"`
+	TimerToken  uint64             `json:"ctx"`
 }
 
 // node is an entry of a server list.
-type node struct {
+type serverStatus struct {
 	Server    string   `json:"server"`
-	AZ        string   `json:"az"`
-	Cohort    int      `json:"cohort"`
+	Zone      string   `json:"az"`
+	Cell      int      `json:"cohort"`
 	Status    string   `json:"status"`
 	StartedAt *float64 `json:"startedAt"`
 }
 
 // outcomes maps the wire's outcome codes; an unknown code counts as an error.
-var outcomes = map[int]balance.Outcome{
+var outcomeCodes = map[int]balance.Outcome{
 	0: balance.Errored, 1: balance.OK, 2: balance.AtCapacity, 3: balance.TimedOut,
 	4: balance.ConnectFailed, 5: balance.Reset, 6: balance.Cancelled, 7: balance.NotSent,
 }
 
-var listKinds = map[string]balance.ListKind{
+var listModes = map[string]balance.ListKind{
 	"D": balance.ListDelta, "F": balance.ListFull, "C": balance.ListCached, "X": balance.ListFailed,
 }
 
@@ -111,11 +111,11 @@
 		if len(line) == 0 {
 			continue
 		}
-		r.msg = message{}
-		if err := json.Unmarshal(line, &r.msg); err != nil {
+		r.message = message{}
+		if err := json.Unmarshal(line, &r.message); err != nil {
 			return fmt.Errorf("batch %d: message %.80q: %w", r.round, line, err)
 		}
-		m := &r.msg
+		m := &r.message
 		switch {
 		case m.Cmd == "Clock":
 			b.Now, b.Round, r.round, open = settings.Seconds(m.SimTime), m.Round, m.Round, true
@@ -124,9 +124,9 @@
 		case m.Cmd == "OverToYou":
 			return nil
 		case m.Cmd == "Register":
-			r.tables[m.Table] = entries(m.Nodes)
+			r.serverLists[m.List] = toEntries(m.Nodes)
 		default:
-			d, ok := r.delivery(m)
+			d, ok := r.decode(m)
 			if !ok {
 				return fmt.Errorf("batch %d: unknown message %q", r.round, m.Cmd)
 			}
@@ -140,36 +140,36 @@
 }
 
 // delivery turns a message for one instance into a Delivery.
-func (r *Reader) delivery(m *message) (Delivery, bool) {
-	d := Delivery{Instance: m.Who, Cmd: m.Cmd}
+func (r *Reader) decode(m *message) (Delivery, bool) {
+	d := Delivery{Instance: m.Instance, Command: m.Cmd}
 	switch m.Cmd {
 	case "Init":
-		s, err := settings.Decode(m.Env)
-		d.Start = &Start{Seed: m.Entropy, Settings: s, Err: err}
+		s, err := settings.Decode(m.Settings)
+		d.Start = &Start{Seed: m.Seed, Settings: s, Err: err}
 	case "Destroy":
 		d.Stop = true
 	case "Update":
-		u := balance.ListUpdate{Kind: listKinds[m.Mode]}
+		u := balance.ListUpdate{Kind: listModes[m.Mode]}
 		if u.Kind != balance.ListFailed {
-			u.Entries = r.tables[m.Table]
+			u.Entries = r.serverLists[m.List]
 		}
 		d.Event = u
 	case "Demand":
-		d.Event = request(m)
+		d.Event = toRequest(m)
 	case "Handover":
-		d.Event = balance.OpenConnection{Request: request(m), Server: m.Server}
+		d.Event = balance.OpenConnection{Request: toRequest(m), Server: m.Server}
 	case "Opened":
-		d.Event = balance.ConnectionEstablished{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Latency: settings.Seconds(m.Lag)}
+		d.Event = balance.ConnectionEstablished{ID: m.Ref, Attempt: m.Attempt, Server: m.Server, Latency: settings.Seconds(m.Latency)}
 	case "Completed":
-		d.Event = balance.AttemptEnded{ID: m.Ref, Attempt: m.Hop, Server: m.Server, Outcome: outcome(m.RC),
-			Latency: settings.Seconds(m.Lag), Final: m.Complete, LoadReport: load(m.Report)}
+		d.Event = balance.AttemptEnded{ID: m.Ref, Attempt: m.Attempt, Server: m.Server, Outcome: toOutcome(m.OutcomeCode),
+			Latency: settings.Seconds(m.Latency), Final: m.Final, LoadReport: toLoadReport(m.Report)}
 	case "Abandoned":
 		d.Event = balance.ClientGone{ID: m.Ref}
 	case "DeadlineHit":
-		d.Event = balance.TimerFired{Token: m.Ctx}
+		d.Event = balance.TimerFired{Token: m.TimerToken}
 	case "StatusBack":
-		d.Event = balance.ProbeResult{Server: m.Server, Outcome: outcome(m.RC), Latency: settings.Seconds(m.Lag),
-			LoadReport: load(m.Report)}
+		d.Event = balance.ProbeResult{Server: m.Server, Outcome: toOutcome(m.OutcomeCode), Latency: settings.Seconds(m.Latency),
+			LoadReport: toLoadReport(m.Report)}
 	case "Progress": // servers' own reports tell more of loads and delays
 	case "Memo": // instances tell each other nothing
 	default:
@@ -178,26 +178,26 @@
 	return d, true
 }
 
-func request(m *message) balance.Request {
-	q := balance.Request{ID: m.Ref, Class: m.Grade, Group: m.TeamID, Reconnecting: m.CameBack,
-		ClientRetry: m.AgainByClient, Deadline: settings.Seconds(m.Deadline)}
-	if m.Cost != nil {
-		q.LoadHint = *m.Cost
+func toRequest(m *message) balance.Request {
+	q := balance.Request{ID: m.Ref, Class: m.Class, Group: m.Group, Reconnecting: m.Returned,
+		ClientRetry: m.ClientRetry, Deadline: settings.Seconds(m.Deadline)}
+	if m.LoadHint != nil {
+		q.LoadHint = *m.LoadHint
 	}
 	return q
 }
 
-func outcome(code int) balance.Outcome {
-	if o, ok := outcomes[code]; ok {
+func toOutcome(code int) balance.Outcome {
+	if o, ok := outcomeCodes[code]; ok {
 		return o
 	}
 	return balance.Errored
 }
 
-func entries(nodes []node) []balance.ServerEntry {
+func toEntries(nodes []serverStatus) []balance.ServerEntry {
 	list := make([]balance.ServerEntry, len(nodes))
 	for i, n := range nodes {
-		e := balance.ServerEntry{ID: n.Server, Zone: n.AZ, Cell: n.Cohort}
+		e := balance.ServerEntry{ID: n.Server, Zone: n.Zone, Cell: n.Cell}
 		switch n.Status {
 		case "DRAINING":
 			e.State = balance.Draining
@@ -212,7 +212,7 @@
 	return list
 }
 
-func load(report map[string]float64) balance.LoadReport {
+func toLoadReport(report map[string]float64) balance.LoadReport {
 	l := balance.EmptyLoadReport
 	for name, v := range report {
 		switch name {
@@ -233,29 +233,29 @@
 func AppendAction(buf []byte, instance int, a balance.Action) []byte {
 	switch a := a.(type) {
 	case balance.Attempt:
-		buf = ref(head(buf, "Assign", instance), a.ID)
-		buf = text(append(buf, `,"server":`...), a.Server)
+		buf = appendID(appendHead(buf, "Assign", instance), a.ID)
+		buf = appendString(append(buf, `,"server":`...), a.Server)
 		if a.Timeout != 0 {
-			buf = span(append(buf, `,"timeout":`...), a.Timeout)
+			buf = appendSeconds(append(buf, `,"timeout":`...), a.Timeout)
 		}
 	case balance.Reject:
-		buf = ref(head(buf, "Refuse", instance), a.ID)
+		buf = appendID(appendHead(buf, "Refuse", instance), a.ID)
 		if a.RetryAfter > 0 {
-			buf = span(append(buf, `,"pause":`...), a.RetryAfter)
+			buf = appendSeconds(append(buf, `,"pause":`...), a.RetryAfter)
 		}
 	case balance.Fail:
-		buf = ref(head(buf, "Abort", instance), a.ID)
+		buf = appendID(appendHead(buf, "Abort", instance), a.ID)
 	case balance.Migrate:
-		buf = ref(head(buf, "Evict", instance), a.ID)
+		buf = appendID(appendHead(buf, "Evict", instance), a.ID)
 	case balance.Probe:
-		buf = text(append(head(buf, "HealthCheck", instance), `,"server":`...), a.Server)
+		buf = appendString(append(appendHead(buf, "HealthCheck", instance), `,"server":`...), a.Server)
 	case balance.SetTimer:
-		buf = span(append(head(buf, "SetAlarm", instance), `,"fromNow":`...), a.Delay)
+		buf = appendSeconds(append(appendHead(buf, "SetAlarm", instance), `,"fromNow":`...), a.Delay)
 		buf = strconv.AppendUint(append(buf, `,"ctx":`...), a.Token, 10)
 	case balance.Subscribe:
-		buf = append(head(buf, "KeepInformed", instance), `,"enable":true`...)
+		buf = append(appendHead(buf, "KeepInformed", instance), `,"enable":true`...)
 	case balance.Log:
-		buf = text(append(head(buf, "Log", instance), `,"words":`...), a.Text)
+		buf = appendString(append(appendHead(buf, "Log", instance), `,"words":`...), a.Text)
 	default:
 		panic(fmt.Sprintf("wire: unknown action %T", a))
 	}
@@ -264,7 +264,7 @@
 
 // AppendFault appends the line that says an instance's decisions have failed.
 func AppendError(buf []byte, instance int, reason string) []byte {
-	buf = text(append(head(buf, "Broken", instance), `,"words":`...), reason)
+	buf = appendString(append(appendHead(buf, "Broken", instance), `,"words":`...), reason)
 	return append(buf, "}\n"...)
 }
 
@@ -274,20 +274,20 @@
 	return append(buf, "}\n"...)
 }
 
-func head(buf []byte, cmd string, instance int) []byte {
+func appendHead(buf []byte, cmd string, instance int) []byte {
 	buf = append(append(buf, `{"cmd":"`...), cmd...)
 	return strconv.AppendInt(append(buf, `","who":`...), int64(instance), 10)
 }
 
-func ref(buf []byte, id string) []byte { return text(append(buf, `,"ref":`...), id) }
+func appendID(buf []byte, id string) []byte { return appendString(append(buf, `,"ref":`...), id) }
 
-func span(buf []byte, d time.Duration) []byte {
+func appendSeconds(buf []byte, d time.Duration) []byte {
 	return strconv.AppendFloat(buf, d.Seconds(), 'f', 6, 64)
 }
 
 // text appends s as a JSON string. Ids are plain words; anything else takes
 // the long way.
-func text(buf []byte, s string) []byte {
+func appendString(buf []byte, s string) []byte {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
 			quoted, _ := json.Marshal(s) // a string always marshals
--- a/internal/simproto/simproto_test.go
+++ b/internal/simproto/simproto_test.go
@@ -11,10 +11,10 @@
 	"coralrelay/balance"
 )
 
-const ms = time.Millisecond
+const millisecond = time.Millisecond
 
 // read returns the batches of an input and the error that ended it.
-func read(input string) ([]Batch, error) {
+func readBatches(input string) ([]Batch, error) {
 	r := NewReader(strings.NewReader(input))
 	var all []Batch
 	for {
@@ -27,25 +27,25 @@
 }
 
 // one wraps a line in a batch and returns its only delivery.
-func one(t *testing.T, line string) Delivery {
+func readOneDelivery(t *testing.T, line string) Delivery {
 	t.Helper()
-	all, err := read(`{"cmd":"Clock","simTime":2.5,"round":7}` + "\n" + line + "\n" + `{"cmd":"OverToYou"}` + "\n")
+	all, err := readBatches(`{"cmd":"Clock","simTime":2.5,"round":7}` + "\n" + line + "\n" + `{"cmd":"OverToYou"}` + "\n")
 	if !errors.Is(err, io.EOF) || len(all) != 1 || len(all[0].Deliveries) != 1 {
 		t.Fatalf("got %v, %v; want one batch with one delivery", all, err)
 	}
-	if all[0].Now != 2500*ms || all[0].Round != 7 {
+	if all[0].Now != 2500*millisecond || all[0].Round != 7 {
 		t.Fatalf("clock %v round %d", all[0].Now, all[0].Round)
 	}
 	return all[0].Deliveries[0]
 }
 
-func x0(v float64) balance.LoadReport {
+func utilization(v float64) balance.LoadReport {
 	l := balance.EmptyLoadReport
 	l.Utilization = v
 	return l
 }
 
-func TestEvents(t *testing.T) {
+func TestDecodesEvents(t *testing.T) {
 	all := balance.LoadReport{Utilization: 0.5, CPUUtilization: 0.25, Inflight: 7, LatencyMillis: 12}
 	tests := []struct {
 		name, line string
@@ -54,10 +54,10 @@
 		{"request", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":true,"realm":"north","teamId":"p:g","midFlow":true,` +
 			`"grade":"chat","entity":"k:z","cost":0.25,"againByClient":true,"deadline":3.75}`,
 			balance.Request{ID: "c:one", Class: "chat", Group: "p:g", LoadHint: 0.25,
-				Reconnecting: true, ClientRetry: true, Deadline: 3750 * ms}},
+				Reconnecting: true, ClientRetry: true, Deadline: 3750 * millisecond}},
 		{"request with nulls", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":false,"realm":null,"teamId":null,` +
 			`"midFlow":false,"grade":"chat","entity":null,"cost":null,"againByClient":false,"deadline":3.75,"novel":[1]}`,
-			balance.Request{ID: "c:one", Class: "chat", Deadline: 3750 * ms}},
+			balance.Request{ID: "c:one", Class: "chat", Deadline: 3750 * millisecond}},
 		{"request that came back", `{"cmd":"Demand","who":2,"ref":"c:one","cameBack":true,"grade":"chat","deadline":1}`,
 			balance.Request{ID: "c:one", Class: "chat", Reconnecting: true, Deadline: time.Second}},
 		{"tenant as a number", `{"cmd":"Demand","who":2,"ref":"c:one","realm":0,"grade":"chat","deadline":1}`,
@@ -65,7 +65,7 @@
 		{"open connection", `{"cmd":"Handover","who":2,"ref":"c:two","grade":"chat","server":"s.a","deadline":1}`,
 			balance.OpenConnection{Request: balance.Request{ID: "c:two", Class: "chat", Deadline: time.Second}, Server: "s.a"}},
 		{"started", `{"cmd":"Opened","who":2,"ref":"c:one","hop":1,"server":"s.a","lag":0.009}`,
-			balance.ConnectionEstablished{ID: "c:one", Attempt: 1, Server: "s.a", Latency: 9 * ms}},
+			balance.ConnectionEstablished{ID: "c:one", Attempt: 1, Server: "s.a", Latency: 9 * millisecond}},
 		{"load note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":1,"x":250000}`,
 			nil},
 		{"delay note", `{"cmd":"Progress","who":2,"ref":"c:one","hop":0,"server":"s.a","kind":2,"x":31.5}`,
@@ -74,10 +74,10 @@
 		{"attempt ended", `{"cmd":"Completed","who":2,"ref":"c:one","hop":1,"server":"s.a","rc":4,"lag":0.25,` +
 			`"complete":false,"report":null}`,
 			balance.AttemptEnded{ID: "c:one", Attempt: 1, Server: "s.a", Outcome: balance.ConnectFailed,
-				Latency: 250 * ms, LoadReport: balance.EmptyLoadReport}},
+				Latency: 250 * millisecond, LoadReport: balance.EmptyLoadReport}},
 		{"attempt served with a report", `{"cmd":"Completed","who":2,"ref":"c:one","hop":0,"server":"s.a","rc":1,` +
 			`"lag":0.02,"complete":true,"report":{"x0":0.5}}`,
-			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.OK, Latency: 20 * ms, Final: true, LoadReport: x0(0.5)}},
+			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.OK, Latency: 20 * millisecond, Final: true, LoadReport: utilization(0.5)}},
 		{"outcome to come", `{"cmd":"Completed","who":2,"ref":"c:one","hop":0,"server":"s.a","rc":99,"lag":0}`,
 			balance.AttemptEnded{ID: "c:one", Server: "s.a", Outcome: balance.Errored, LoadReport: balance.EmptyLoadReport}},
 		{"client gone", `{"cmd":"Abandoned","who":2,"ref":"c:one"}`, balance.ClientGone{ID: "c:one"}},
@@ -95,18 +95,18 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := one(t, tt.line); got.Instance != 2 || !reflect.DeepEqual(got.Event, tt.want) {
+			if got := readOneDelivery(t, tt.line); got.Instance != 2 || !reflect.DeepEqual(got.Event, tt.want) {
 				t.Errorf("got %#v\nwant %#v", got.Event, tt.want)
 			}
 		})
 	}
 }
 
-func TestOutcomes(t *testing.T) {
+func TestDecodesOutcomes(t *testing.T) {
 	want := []balance.Outcome{balance.Errored, balance.OK, balance.AtCapacity, balance.TimedOut, balance.ConnectFailed,
 		balance.Reset, balance.Cancelled, balance.NotSent}
 	for code, o := range want {
-		if got := outcome(code); got != o {
+		if got := toOutcome(code); got != o {
 			t.Errorf("code %d is %d, want %d", code, got, o)
 		}
 	}
@@ -114,8 +114,8 @@
 
 // A list's number may be used again within a batch: each event gets the list
 // that stood under the number when it came.
-func TestListNumberUsedAgain(t *testing.T) {
-	all, err := read(`{"cmd":"Clock","simTime":1,"round":1}
+func TestReusedListNumberKeepsEarlierUpdate(t *testing.T) {
+	all, err := readBatches(`{"cmd":"Clock","simTime":1,"round":1}
 {"cmd":"Register","table":0,"nodesList":[{"server":"s.a","az":"north","familyType":"big","cohort":3,"status":"SERVING","size":1.5,"startedAt":6.5},{"server":"s.b","az":"south","familyType":"big","cohort":0,"status":"DRAINING","size":1,"startedAt":null}]}
 {"cmd":"Update","who":1,"mode":"F","stamp":41,"table":0}
 {"cmd":"Register","table":0,"nodesList":[{"server":"s.c","az":"north","familyType":"big","cohort":0,"status":"DELETED","size":1,"startedAt":0}]}
@@ -127,7 +127,7 @@
 	}
 	want := []balance.Event{
 		balance.ListUpdate{Kind: balance.ListFull, Entries: []balance.ServerEntry{
-			{ID: "s.a", Zone: "north", Cell: 3, StartedAt: 6500 * ms},
+			{ID: "s.a", Zone: "north", Cell: 3, StartedAt: 6500 * millisecond},
 			{ID: "s.b", Zone: "south", State: balance.Draining}}},
 		balance.ListUpdate{Kind: balance.ListDelta, Entries: []balance.ServerEntry{
 			{ID: "s.c", Zone: "north", State: balance.Gone}}},
@@ -139,37 +139,37 @@
 	}
 }
 
-func TestInitAndDestroy(t *testing.T) {
-	d := one(t, `{"cmd":"Init","who":2,"entropy":77,"env":{"classes":[{"name":"chat","objective":0.8,"deadline":3.2,`+
+func TestDecodesInitAndDestroy(t *testing.T) {
+	d := readOneDelivery(t, `{"cmd":"Init","who":2,"entropy":77,"env":{"classes":[{"name":"chat","objective":0.8,"deadline":3.2,`+
 		`"effect":"idempotency_key","group":"zone","window":5,"credit":2}],"countedBy":"work","slotNo":2,"nInstances":9,`+
 		`"domain":{"groups":true,"messageAim":[0.06],"mode":"pass","park":4,"tenantQuotaConnections":[12.5]},`+
 		`"granularity":0.002,"guarantees":{"askWithin":10,"coldFrom":0.12,"drainGrace":2,"graceToAnswer":0.008,`+
 		`"rampTime":23,"tipAfter":2,"tipMultiple":4},"limits":{"connectTimeout":0.25,"maxRetryAfter":1.5,"mostTries":6,`+
 		`"peers":true,"probing":true,"retryAfter":true,"secondCopies":false},"registryMode":"on_request",`+
 		`"report":{"fields":["x0"],"via":"answers"},"tenants":[{"name":"north"}],"weights":"rough","zone":"north","new":1}}`)
-	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * ms, SubscribeRequired: true,
+	want := balance.Settings{Instance: 2, Instances: 9, Tick: 2 * millisecond, SubscribeRequired: true,
 		SubscribeTimeout: 10 * time.Second,
-		Classes: []balance.Class{{Name: "chat", LatencyObjective: 800 * ms, Deadline: 3200 * ms, MessageLatencyObjective: 60 * ms,
+		Classes: []balance.Class{{Name: "chat", LatencyObjective: 800 * millisecond, Deadline: 3200 * millisecond, MessageLatencyObjective: 60 * millisecond,
 			Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeZone, KeyWindow: 5 * time.Second}},
-		Rules: balance.Rules{AnswerGrace: 8 * ms, DrainGrace: 2 * time.Second, InitialCapacity: 0.12, SlowStartWindow: 23 * time.Second,
+		Rules: balance.Rules{AnswerGrace: 8 * millisecond, DrainGrace: 2 * time.Second, InitialCapacity: 0.12, SlowStartWindow: 23 * time.Second,
 			OverloadMultiple: 4, OverloadDuration: 2 * time.Second},
 		Limits: balance.Limits{ProbesAllowed: true, SendRetryAfter: true, MaxAttempts: 6,
-			MaxRetryAfter: 1500 * ms, ConnectTimeout: 250 * ms},
+			MaxRetryAfter: 1500 * millisecond, ConnectTimeout: 250 * millisecond},
 		LoadReporting: balance.LoadReporting{InOutcomes: true, InProbeResults: true},
 		Connections:   balance.ConnectionTraits{GroupAffinity: true}}
 	if d.Start == nil || d.Start.Err != nil || d.Start.Seed != 77 || !reflect.DeepEqual(d.Start.Settings, want) {
 		t.Errorf("got %+v\nwant %+v", d.Start, want)
 	}
-	if d := one(t, `{"cmd":"Destroy","who":3}`); !d.Stop || d.Instance != 3 {
+	if d := readOneDelivery(t, `{"cmd":"Destroy","who":3}`); !d.Stop || d.Instance != 3 {
 		t.Errorf("got %+v, want a stop of 3", d)
 	}
-	d = one(t, `{"cmd":"Init","who":2,"entropy":1,"env":{"classes":[{"name":"chat","effect":"perhaps"}]}}`)
+	d = readOneDelivery(t, `{"cmd":"Init","who":2,"entropy":1,"env":{"classes":[{"name":"chat","effect":"perhaps"}]}}`)
 	if d.Start.Err == nil || !strings.Contains(d.Start.Err.Error(), "perhaps") {
 		t.Errorf("unknown effect: error %v", d.Start.Err)
 	}
 }
 
-func TestBadInput(t *testing.T) {
+func TestMalformedInputIsError(t *testing.T) {
 	clock, over := `{"cmd":"Clock","simTime":1,"round":5}`+"\n", `{"cmd":"OverToYou"}`+"\n"
 	tests := []struct {
 		name, input string
@@ -181,7 +181,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			_, err := read(tt.input)
+			_, err := readBatches(tt.input)
 			if err == nil || errors.Is(err, io.EOF) {
 				t.Fatalf("error %v, want a fault", err)
 			}
@@ -194,28 +194,28 @@
 	}
 }
 
-func TestInputMayEndAnywhere(t *testing.T) {
+func TestInputMayEndWithinBatch(t *testing.T) {
 	for _, input := range []string{"", `{"cmd":"Clock","simTime":1,"round":5}` + "\n"} {
-		if all, err := read(input); !errors.Is(err, io.EOF) || len(all) != 0 {
+		if all, err := readBatches(input); !errors.Is(err, io.EOF) || len(all) != 0 {
 			t.Errorf("%q: %v, %v; want the end of the input", input, all, err)
 		}
 	}
 }
 
-func TestActions(t *testing.T) {
+func TestEncodesActions(t *testing.T) {
 	tests := []struct {
 		action balance.Action
 		want   string
 	}{
-		{balance.Attempt{ID: "c:one", Server: "s.a", Timeout: 80 * ms},
+		{balance.Attempt{ID: "c:one", Server: "s.a", Timeout: 80 * millisecond},
 			`{"cmd":"Assign","who":3,"ref":"c:one","server":"s.a","timeout":0.080000}`},
 		{balance.Attempt{ID: "c:one", Server: "s.a"}, `{"cmd":"Assign","who":3,"ref":"c:one","server":"s.a"}`},
-		{balance.Reject{ID: "c:one", RetryAfter: 250 * ms}, `{"cmd":"Refuse","who":3,"ref":"c:one","pause":0.250000}`},
+		{balance.Reject{ID: "c:one", RetryAfter: 250 * millisecond}, `{"cmd":"Refuse","who":3,"ref":"c:one","pause":0.250000}`},
 		{balance.Reject{ID: "c:one"}, `{"cmd":"Refuse","who":3,"ref":"c:one"}`},
 		{balance.Fail{ID: "c:one"}, `{"cmd":"Abort","who":3,"ref":"c:one"}`},
 		{balance.Migrate{ID: "c:one"}, `{"cmd":"Evict","who":3,"ref":"c:one"}`},
 		{balance.Probe{Server: "s.a"}, `{"cmd":"HealthCheck","who":3,"server":"s.a"}`},
-		{balance.SetTimer{Delay: 500 * ms, Token: 77}, `{"cmd":"SetAlarm","who":3,"fromNow":0.500000,"ctx":77}`},
+		{balance.SetTimer{Delay: 500 * millisecond, Token: 77}, `{"cmd":"SetAlarm","who":3,"fromNow":0.500000,"ctx":77}`},
 		{balance.Subscribe{}, `{"cmd":"KeepInformed","who":3,"enable":true}`},
 		{balance.Log{Text: `two "known"`}, `{"cmd":"Log","who":3,"words":"two \"known\""}`},
 	}
@@ -237,7 +237,7 @@
 	f.Add(`{"cmd":"Clock","simTime":1e300,"round":-1}` + "\n" + `{"cmd":"Init","env":{}}` + "\n" + `{"cmd":"OverToYou"}`)
 	f.Add("{\n[]\n")
 	f.Fuzz(func(t *testing.T, input string) {
-		if _, err := read(input); err == nil {
+		if _, err := readBatches(input); err == nil {
 			t.Error("no error at the end of the input")
 		}
 	})
