admin, metrics: named requests and answers, one step a line, comments in plain terms

Shape and comments only: answers, limits and counts are as before; log lines have a component and their values as attributes. Tests of both packages pass with the race detector; linter clean.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -1,6 +1,9 @@
-// Package mgmt is the operators' front: a listener of its own, one line in, one
-// answer out, and the connection's end. It decides nothing and never waits for the
-// Core, the fleet or another caller.
+// Package admin answers operators on a listener of its own: one line in, one answer out,
+// then the connection ends. It decides nothing and never waits for the event loop, the
+// fleet or another caller.
+//
+// Server.Serve owns one goroutine for each call, at most MaxCalls. Each ends after its
+// answer, with its timeouts, or when the listener is closed, and Serve waits for them.
 package admin
 
 import (
@@ -17,44 +20,68 @@
 )
 
 const (
-	// Callers is how many may call at once, and so how many sockets they take.
+	// MaxCalls is how many calls are served at once, and so how many sockets they take.
 	MaxCalls = 16
-	// patience is how long a caller may take for its line.
+	// requestTimeout is how long a caller may take for its line.
 	requestTimeout = 3 * time.Second
-	// glance is what a caller who has to make room is still given for a line that
-	// lies in its socket: the node may have been too busy to read it.
+	// bufferedLineTimeout is what a caller whose wait was cut short is still given for a
+	// line that lies in its socket: the node may have been too busy to read it.
 	bufferedLineTimeout = 5 * time.Millisecond
-	// writing is how long an answer may block.
+	// writeTimeout is how long an answer may block.
 	writeTimeout = time.Second
-	// linger is how long a caller may take to end after an answer that came before
+	// lingerTimeout is how long a caller may take to end after an answer that came before
 	// all that it sends.
 	lingerTimeout = 100 * time.Millisecond
+	// acceptBackoff is the pause after an accept that failed.
+	acceptBackoff = 5 * time.Millisecond
 )
 
-// Node is what operators ask about and tell. Its methods return at once.
+// Requests and answers of the operators' protocol.
+const (
+	requestPing     = "PING"
+	requestInfo     = "INFO"
+	requestLameDuck = "LAMEDUCK"
+	requestRejoin   = "REJOIN"
+
+	answerServing    = "200 OK"
+	answerNotServing = "400 takes no clients"
+	answerDraining   = "200 emptying"
+	answerRejoined   = "200 taking clients"
+	answerIncomplete = "400 no whole line"
+	answerUnknown    = "400 unknown call: PING, INFO, LAMEDUCK or REJOIN"
+	endOfMetrics     = "EOF"
+)
+
+// Node is what operators ask and command. Its methods return at once.
 type Node interface {
-	AcceptsClients() bool // this process takes clients
-	Metrics() string      // lines of figures, each with its end
-	LameDuck()            // empties the node; again, it changes nothing
-	Rejoin()              // ends that; without it, it changes nothing
+	// AcceptsClients reports whether this process takes clients.
+	AcceptsClients() bool
+	// Metrics returns lines of metrics, each with its line end.
+	Metrics() string
+	// LameDuck starts to drain the node; while it drains, it changes nothing.
+	LameDuck()
+	// Rejoin ends a drain that LameDuck started; without one it changes nothing.
+	Rejoin()
 }
 
 // Server answers operators.
 type Server struct {
 	node          Node
-	callSlots     chan struct{} // a caller each
+	callSlots     chan struct{} // holds one element for each call that is served
 	rejectedCalls logging.Throttled
 
 	mu              sync.Mutex
-	awaitingRequest []net.Conn // have not said a whole line yet, the oldest first
+	awaitingRequest []net.Conn // have not sent a complete line yet, the oldest first
 	wg              sync.WaitGroup
 }
 
 // New returns a Server for node.
-func New(node Node) *Server { return &Server{node: node, callSlots: make(chan struct{}, MaxCalls)} }
+func New(node Node) *Server {
+	return &Server{node: node, callSlots: make(chan struct{}, MaxCalls)}
+}
 
-// Serve accepts callers until the listener is closed, and waits for those that are
-// there.
+// Serve accepts calls until the listener is closed, which is no error, and then waits for
+// those that are being served.
 func (s *Server) Serve(listener net.Listener) error {
 	defer s.wg.Wait()
 	defer s.expireOldest(MaxCalls)
@@ -63,17 +90,12 @@
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
-		case err != nil: // out of sockets, most likely
-			s.rejectedCalls.Warn("accept of an operator's call", "err", err)
-			time.Sleep(5 * time.Millisecond)
+		case err != nil: // out of descriptors, most likely
+			s.rejectedCalls.Warn("operator call not accepted", "component", "admin", "error", err)
+			time.Sleep(acceptBackoff)
 			continue
 		}
-		select {
-		case s.callSlots <- struct{}{}:
-		default: // half at once, so that a crowd of silent ones delays nobody for long
-			s.expireOldest(MaxCalls / 2)
-			s.callSlots <- struct{}{}
-		}
+		s.acquireSlot()
 		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
 		s.mu.Lock()
 		s.awaitingRequest = append(s.awaitingRequest, conn)
@@ -85,7 +107,18 @@
 	}
 }
 
-// makeRoom ends the wait of the n that have been silent longest.
+// acquireSlot takes a slot for a call. Where all are taken, half of the silent callers are
+// expired at once, so that a crowd of them delays nobody for long.
+func (s *Server) acquireSlot() {
+	select {
+	case s.callSlots <- struct{}{}:
+	default:
+		s.expireOldest(MaxCalls / 2)
+		s.callSlots <- struct{}{}
+	}
+}
+
+// expireOldest ends the wait for a request of the n callers that have been silent longest.
 func (s *Server) expireOldest(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,7 +129,7 @@
 	s.awaitingRequest = slices.Delete(s.awaitingRequest, 0, n)
 }
 
-// spoken takes conn off the silent ones; nobody moves its deadline any more.
+// requestReceived takes conn off the silent callers; nobody moves its deadline any more.
 func (s *Server) requestReceived(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,45 +138,46 @@
 	}
 }
 
+// handle reads one request, answers it and ends the connection.
 func (s *Server) handle(conn net.Conn) {
-	l := bufconn.New(conn)
-	text, err := l.ReadTextLine()
+	client := bufconn.New(conn)
+	request, err := client.ReadTextLine()
 	s.requestReceived(conn)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		text, err = l.ReadTextLineBefore(time.Now().Add(bufferedLineTimeout))
+		request, err = client.ReadTextLineBefore(time.Now().Add(bufferedLineTimeout))
 	}
-	answer := ""
+	answer := answerIncomplete
 	if err != nil {
-		answer = "400 no whole line"
-		s.rejectedCalls.Warn("operator's call rejected", "from", conn.RemoteAddr().String(), "err", err)
+		s.rejectedCalls.Warn("operator call rejected", "component", "admin", "client", conn.RemoteAddr().String(), "error", err)
 	} else {
-		answer = s.answer(string(text), conn)
+		answer = s.answer(string(request), conn)
 	}
-	if errors.Is(err, bufio.ErrBufferFull) || err == nil && l.R.Buffered() > 0 { // there may be more
-		l.LingeringClose(answer, time.Now().Add(writeTimeout), lingerTimeout)
+	mayHaveMore := errors.Is(err, bufio.ErrBufferFull) || err == nil && client.R.Buffered() > 0
+	if mayHaveMore {
+		_ = client.LingeringClose(answer, time.Now().Add(writeTimeout), lingerTimeout)
 		return
 	}
-	_ = l.WriteLine(answer, time.Now().Add(writeTimeout))
-	l.Release()
+	_ = client.WriteLine(answer, time.Now().Add(writeTimeout))
+	client.Release()
 }
 
-// answer does what a call asks for.
-func (s *Server) answer(call string, conn net.Conn) string {
-	switch call {
-	case "PING":
+// answer carries out a request and returns its answer, without the line end.
+func (s *Server) answer(request string, conn net.Conn) string {
+	switch request {
+	case requestPing:
 		if s.node.AcceptsClients() {
-			return "200 OK"
+			return answerServing
 		}
-		return "400 takes no clients"
-	case "INFO":
-		return s.node.Metrics() + "EOF"
-	case "LAMEDUCK":
+		return answerNotServing
+	case requestInfo:
+		return s.node.Metrics() + endOfMetrics
+	case requestLameDuck:
 		s.node.LameDuck()
-		return "200 emptying"
-	case "REJOIN":
+		return answerDraining
+	case requestRejoin:
 		s.node.Rejoin()
-		return "200 taking clients"
+		return answerRejoined
 	}
-	s.rejectedCalls.Warn("operator's call unknown", "from", conn.RemoteAddr().String())
-	return "400 unknown call: PING, INFO, LAMEDUCK or REJOIN"
+	s.rejectedCalls.Warn("operator call unknown", "component", "admin", "client", conn.RemoteAddr().String())
+	return answerUnknown
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -49,7 +49,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
 	fmt.Fprint(conn, text)
 	return conn
 }
@@ -82,7 +84,7 @@
 		{"\x00\xff\r\n", "400 "}, {strings.Repeat("INFO", 2000), "400 "}, {strings.Repeat("x", 4094) + "\r\n", "400 "},
 	} {
 		conn := dial(t, addr, c.call)
-		_ = conn.(*net.TCPConn).CloseWrite() // which makes a half call one that stays so
+		_ = conn.(*net.TCPConn).CloseWrite() // half a request stays half
 		all, err := io.ReadAll(conn)
 		if err != nil || !strings.HasPrefix(string(all), c.want) || strings.HasSuffix(c.want, "\r\n") && string(all) != c.want {
 			t.Errorf("%.20q: %q, %v", c.call, all, err)
@@ -93,7 +95,7 @@
 	}
 }
 
-// Callers who stay and say nothing, or half a call, keep no answer from anybody, and
+// Callers that stay and send nothing, or half a request, delay no answer to others, and
 // neither do many calls at once.
 func TestSilentCallersDelayNobody(t *testing.T) {
 	addr, _ := startServer(t)
@@ -111,8 +113,8 @@
 	}
 }
 
-// A caller's end comes by itself, and so does that of a Server whose callers stay: in
-// exact time, as the bubble sees whatever would be left behind.
+// A silent caller is answered when its time is up, in exact time; the bubble reports any
+// goroutine that would be left behind.
 func TestSilentCallerIsAnsweredAfterTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(&fakeNode{})
@@ -130,7 +132,7 @@
 	})
 }
 
-// Whatever comes, there is one answer: 200 for a call that is one, else 400.
+// Any input gets exactly one answer: 200 for a known request, else 400.
 func FuzzCall(f *testing.F) {
 	for _, seed := range []string{"PING\r\n", "INFO\n", "LAMEDUCK\r\nREJOIN\r\n", "", "\n", "PING\r\r\n", "4096"} {
 		f.Add([]byte(seed))
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -1,5 +1,9 @@
-// Package figures counts what operators ask for: by class, for as long as the process
-// lives. Counting is an atomic add, where the thing counted has happened.
+// Package metrics counts what operators read with INFO: by class, for as long as the
+// process lives. Counting is an atomic add, done where the counted thing has happened. It
+// starts no goroutine and has no errors.
+//
+// The names in the text are those that the operators' pages have had from the start
+// (throttled, faulted, relayed); the code says rejected, failed and forwarded.
 package metrics
 
 import (
@@ -10,105 +14,124 @@
 	"sync/atomic"
 )
 
-// Class counts the connections of one class. A nil Class counts nothing: that of what
-// no settings ever named.
+// Types of a metric in the text, as in statsd.
+const (
+	counter byte = 'c'
+	gauge   byte = 'g'
+)
+
+// Class counts the connections of one class. A nil Class counts nothing: it stands for a
+// class that no settings ever named.
 type Class struct {
-	name                          string
-	fulfilled, throttled, faulted atomic.Int64
-	relayed                       *atomic.Int64
+	name      string
+	fulfilled atomic.Int64
+	rejected  atomic.Int64
+	failed    atomic.Int64
+	forwarded *atomic.Int64 // of all classes together
 }
 
-// Fulfilled counts a connection brought up.
+// Fulfilled counts a connection that was established.
 func (c *Class) Fulfilled() {
 	if c != nil {
 		c.fulfilled.Add(1)
 	}
 }
 
-// Throttled counts one refused.
+// Rejected counts one that was answered as busy.
 func (c *Class) Rejected() {
 	if c != nil {
-		c.throttled.Add(1)
+		c.rejected.Add(1)
 	}
 }
 
-// Faulted counts one failed.
+// Failed counts one that was answered as failed.
 func (c *Class) Failed() {
 	if c != nil {
-		c.faulted.Add(1)
+		c.failed.Add(1)
 	}
 }
 
-// Relayed counts an attempt written whole to a next hop.
+// Forwarded counts an attempt whose first line was written whole to an endpoint.
 func (c *Class) Forwarded() {
 	if c != nil {
-		c.relayed.Add(1)
+		c.forwarded.Add(1)
 	}
 }
 
-// Book holds the counts of all classes that settings have named.
+// Registry holds the counts of all classes that settings have named. Its zero value is
+// ready to use, by several goroutines at once.
 type Registry struct {
-	relayed                          atomic.Int64
-	ConfigsAccepted, ConfigsRejected atomic.Int64 // configuration files taken, and turned down
+	forwarded       atomic.Int64
+	ConfigsAccepted atomic.Int64 // configuration files that took force on a reload
+	ConfigsRejected atomic.Int64 // configuration files that a reload turned down
 
 	mu      sync.Mutex
 	classes []*Class // in order of appearance; never dropped
 }
 
-// Name has the book keep classes of these names; the counts of those that it has stay.
-func (b *Registry) AddClasses(names ...string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// AddClasses makes the registry count classes of these names. Classes that it has already
+// keep their counts.
+func (r *Registry) AddClasses(names ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, name := range names {
-		if b.find(name) == nil {
-			b.classes = append(b.classes, &Class{name: name, relayed: &b.relayed})
+		if r.find(name) == nil {
+			r.classes = append(r.classes, &Class{name: name, forwarded: &r.forwarded})
 		}
 	}
 }
 
-// Class returns the counts of a class, or nil.
-func (b *Registry) Class(name string) *Class {
-	if b == nil {
+// Class returns the counts of a class, or nil where the registry is nil or has no such class.
+func (r *Registry) Class(name string) *Class {
+	if r == nil {
 		return nil
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.find(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.find(name)
 }
 
-func (b *Registry) find(name string) *Class {
-	if i := slices.IndexFunc(b.classes, func(c *Class) bool { return c.name == name }); i >= 0 {
-		return b.classes[i]
+// find returns the counts of a class or nil, under the lock.
+func (r *Registry) find(name string) *Class {
+	i := slices.IndexFunc(r.classes, func(c *Class) bool { return c.name == name })
+	if i < 0 {
+		return nil
 	}
-	return nil
+	return r.classes[i]
 }
 
-// Gauges are what stands at the moment.
-type Gauges struct{ OpenSessions, ListedEndpoints, AvoidedEndpoints int }
+// Gauges are numbers of the moment.
+type Gauges struct {
+	OpenSessions     int
+	ListedEndpoints  int
+	AvoidedEndpoints int // listed, and left out of all or most draws
+}
 
-// Text words the figures, a line each.
-func (b *Registry) Text(g Gauges) string {
-	b.mu.Lock()
-	classes := b.classes
-	b.mu.Unlock()
-	var w strings.Builder
-	line := func(name string, n int64, kind byte) { fmt.Fprintf(&w, "balancer.%s:%d|%c\r\n", name, n, kind) }
-	for _, c := range classes {
-		at := "operations." + strings.Map(sanitizeRune, c.name)
-		line(at+".fulfilled", c.fulfilled.Load(), 'c')
-		line(at+".throttled", c.throttled.Load(), 'c')
-		line(at+".faulted", c.faulted.Load(), 'c')
+// Text formats all metrics, one a line, each line with its end.
+func (r *Registry) Text(gauges Gauges) string {
+	r.mu.Lock()
+	classes := r.classes
+	r.mu.Unlock()
+	var text strings.Builder
+	write := func(name string, value int64, kind byte) {
+		fmt.Fprintf(&text, "balancer.%s:%d|%c\r\n", name, value, kind)
+	}
+	for _, class := range classes {
+		prefix := "operations." + strings.Map(sanitizeRune, class.name)
+		write(prefix+".fulfilled", class.fulfilled.Load(), counter)
+		write(prefix+".throttled", class.rejected.Load(), counter)
+		write(prefix+".faulted", class.failed.Load(), counter)
 	}
-	line("relayed", b.relayed.Load(), 'c')
-	line("open_requests", int64(g.OpenSessions), 'g')
-	line("registry_entries", int64(g.ListedEndpoints), 'g')
-	line("out_of_rotation", int64(g.AvoidedEndpoints), 'g')
-	line("cfg_accepted", b.ConfigsAccepted.Load(), 'c')
-	line("cfg_invalid", b.ConfigsRejected.Load(), 'c')
-	return w.String()
+	write("relayed", r.forwarded.Load(), counter)
+	write("open_requests", int64(gauges.OpenSessions), gauge)
+	write("registry_entries", int64(gauges.ListedEndpoints), gauge)
+	write("out_of_rotation", int64(gauges.AvoidedEndpoints), gauge)
+	write("cfg_accepted", r.ConfigsAccepted.Load(), counter)
+	write("cfg_invalid", r.ConfigsRejected.Load(), counter)
+	return text.String()
 }
 
-// plain keeps a class's name from breaking the line that it stands in.
+// sanitizeRune keeps a class's name from breaking the line that it stands in.
 func sanitizeRune(r rune) rune {
 	if r <= ' ' || r > '~' || r == ':' || r == '|' {
 		return '_'
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -38,8 +38,7 @@
 	}
 }
 
-// A stranger's class costs nothing and counts nowhere, and neither does a book that
-// nobody keeps.
+// A class that no settings named counts nowhere, and neither does a nil registry.
 func TestUnknownClassCountsNothing(t *testing.T) {
 	var b Registry
 	for _, c := range []*Class{b.Class("stranger"), (*Registry)(nil).Class("feed")} {
@@ -53,7 +52,7 @@
 	}
 }
 
-// A name stands in a line of its own, whatever is in it.
+// A class's name cannot break its line, whatever is in it.
 func TestClassNameCannotBreakLine(t *testing.T) {
 	var b Registry
 	b.AddClasses("a b:c|d\r\ne")
@@ -62,7 +61,7 @@
 	}
 }
 
-// Counting goes on beside reading and naming.
+// Counting, adding classes and formatting may happen at the same time.
 func TestCountsBesideReadsAndNewClasses(t *testing.T) {
 	var b Registry
 	b.AddClasses("feed")
