--- a/internal/lineproto/codec.go
+++ b/internal/lineproto/codec.go
@@ -8,35 +8,36 @@
 	"coralrelay/internal/proxy"
 )
 
-// Front words a transaction's final answers in the platform's protocol and
-// notices what a relayed line says.
+// Codec formats a session's final answers in the platform's protocol and classifies the
+// lines that are relayed.
 type Codec struct{}
 
-// Busy is the busy answer, with the pause that is asked of the caller.
-func (Codec) Busy(pause time.Duration) string {
-	if ms := pause.Milliseconds(); ms > 0 {
-		return "BUSY " + strconv.FormatInt(ms, 10)
+// Busy returns the answer to a rejected request, with the time after which the client is
+// asked to return, in whole milliseconds; below one there is none.
+func (Codec) Busy(retryAfter time.Duration) string {
+	if ms := retryAfter.Milliseconds(); ms > 0 {
+		return busyKeyword + " " + strconv.FormatInt(ms, 10)
 	}
-	return "BUSY"
+	return busyKeyword
 }
 
-// Failed is the answer that promises nothing.
+// Failed returns the answer that promises nothing.
 func (Codec) Failed() string { return Error }
 
-// Move asks the caller to come again.
+// Move returns the line that asks the client to reconnect.
 func (Codec) Move() string { return Move }
 
-// Notice tells what a next hop's line after UP says.
-func (Codec) Classify(text []byte) proxy.LineKind {
-	text = bytes.TrimRight(text, "\r\n")
+// Classify returns what an endpoint's line after UP says; it may end with its line end.
+func (Codec) Classify(line []byte) proxy.LineKind {
+	line = bytes.TrimRight(line, "\r\n")
 	switch {
-	case bytes.HasPrefix(text, []byte("LOAD ")):
-		if _, err := parseNumber(string(text[len("LOAD "):])); err == nil {
+	case bytes.HasPrefix(line, []byte(loadPrefix)):
+		if _, err := parseNumber(string(line[len(loadPrefix):])); err == nil {
 			return proxy.LineLoadReport
 		}
-	case bytes.Equal(text, []byte(Move)):
+	case bytes.Equal(line, []byte(Move)):
 		return proxy.LineMove
-	case bytes.Equal(text, []byte("BYE")), bytes.HasPrefix(text, []byte("BYE ")):
+	case bytes.Equal(line, []byte(byeKeyword)), bytes.HasPrefix(line, []byte(byeKeyword+" ")):
 		return proxy.LineBye
 	}
 	return proxy.LineOther
--- a/internal/lineproto/stream.go
+++ b/internal/lineproto/stream.go
@@ -10,13 +10,13 @@
 	"coralrelay/internal/resumetoken"
 )
 
-// The words of resumable streams, beyond the platform's protocol. A caller that
-// sends rs=1 or rs=TOKEN asks for one; a next hop that has them says so behind its
-// receipt, and waits for START:
+// Lines of resumable streams, beyond the platform's protocol. A client that sends rs=1 or
+// rs=TOKEN asks for one; an endpoint that has them says so behind its receipt, and waits
+// for START:
 //
-//	UP RECEIPT rs=1             from the next hop
+//	UP RECEIPT rs=1             from the endpoint
 //	START                       to it: from the beginning
-//	START after=POS at=MS       the same, no older than POS; a next hop that numbers
+//	START after=POS at=MS       the same, no older than POS; an endpoint that numbers
 //	                            otherwise goes by MS, Unix time in milliseconds
 //	START resume=POS at=MS id=NONCE
 //	                            go on behind POS; NONCE is the spent token's
@@ -24,10 +24,11 @@
 //	SNAPSHOT POS COUNT          the state at POS follows, in the next COUNT lines
 //	UPD OFFSET ...              a change, numbered in the epoch of POS
 //	POS POS                     nothing has changed up to POS
-//	MOVE TOKEN                  to the caller
+//	MOVE TOKEN                  to the client
 const (
-	// Asked is the value of rs that asks for a resumable stream.
-	ResumeWanted   = "1"
+	// ResumeWanted is the value of rs that asks for a resumable stream.
+	ResumeWanted = "1"
+
 	startKeyword   = "START"
 	resumedPrefix  = "RESUMED "
 	snapshotPrefix = "SNAPSHOT "
@@ -35,13 +36,13 @@
 	positionPrefix = "POS "
 )
 
-// Resumable tells whether a next hop's UP line says that it has such streams.
+// IsResumable reports whether an endpoint's UP line says that it has resumable streams.
 func IsResumable(up string) bool { return strings.HasSuffix(up, " rs="+ResumeWanted) }
 
-// Start words the line that starts a stream. came is when its caller did: it can't
-// have seen anything later.
-func FormatStreamStart(o resumetoken.Outcome, came time.Time) string {
-	at := " at=" + strconv.FormatInt(came.UnixMilli(), 10)
+// FormatStreamStart returns the line that starts a stream. connectedAt is when its client
+// connected: it can't have seen anything later.
+func FormatStreamStart(o resumetoken.Outcome, connectedAt time.Time) string {
+	at := " at=" + strconv.FormatInt(connectedAt.UnixMilli(), 10)
 	switch {
 	case o.CanResume:
 		return startKeyword + " resume=" + o.Position.String() + at + " id=" + hex.EncodeToString(o.Nonce[:])
@@ -51,7 +52,7 @@
 	return startKeyword
 }
 
-// Reading follows the position in a stream as its lines pass. Its zero value has
+// StreamPosition follows the position in a stream as its lines pass. Its zero value has
 // none yet.
 type StreamPosition struct {
 	position          resumetoken.Position
@@ -60,45 +61,63 @@
 	afterSnapshot     resumetoken.Position
 }
 
-// Position is how far the lines seen so far go. There is none before the stream
+// Position returns how far the lines observed so far go. There is none before the stream
 // says so, nor within a snapshot: half of one is nothing to go on from.
-func (r *StreamPosition) Position() (resumetoken.Position, bool) { return r.position, r.known }
+func (p *StreamPosition) Position() (resumetoken.Position, bool) { return p.position, p.known }
 
-// Pass takes one line of the next hop's.
-func (r *StreamPosition) Observe(text []byte) {
-	if r.snapshotLinesLeft > 0 {
-		if r.snapshotLinesLeft--; r.snapshotLinesLeft == 0 {
-			r.position, r.known = r.afterSnapshot, true
-		}
+// Observe takes one line of the endpoint's.
+func (p *StreamPosition) Observe(line []byte) {
+	if p.snapshotLinesLeft > 0 {
+		p.observeSnapshotLine()
 		return
 	}
-	text = bytes.TrimRight(text, "\r\n")
-	if rest, ok := bytes.CutPrefix(text, []byte(updatePrefix)); ok {
-		digits, _, _ := bytes.Cut(rest, []byte(" "))
-		if n, err := strconv.ParseUint(string(digits), 10, 64); err == nil && r.known {
-			r.position.Offset = n
-			return
-		}
-		r.known = false // a numbering that can't be followed is none
+	line = bytes.TrimRight(line, "\r\n")
+	if rest, ok := bytes.CutPrefix(line, []byte(updatePrefix)); ok {
+		p.observeUpdate(rest)
 		return
 	}
-	if rest, ok := bytes.CutPrefix(text, []byte(snapshotPrefix)); ok {
-		at, count, _ := bytes.Cut(rest, []byte(" "))
-		n, err := strconv.Atoi(string(count))
-		r.known = false
-		if pos, err2 := resumetoken.ParsePosition(string(at)); err == nil && err2 == nil && n >= 0 {
-			r.afterSnapshot, r.snapshotLinesLeft = pos, n
-			if n == 0 {
-				r.position, r.known = pos, true
-			}
-		}
+	if rest, ok := bytes.CutPrefix(line, []byte(snapshotPrefix)); ok {
+		p.observeSnapshot(rest)
 		return
 	}
 	for _, prefix := range []string{resumedPrefix, positionPrefix} {
-		if rest, ok := bytes.CutPrefix(text, []byte(prefix)); ok {
-			pos, err := resumetoken.ParsePosition(string(rest))
-			r.position, r.known = pos, err == nil
+		if rest, ok := bytes.CutPrefix(line, []byte(prefix)); ok {
+			position, err := resumetoken.ParsePosition(string(rest))
+			p.position, p.known = position, err == nil
 			return
 		}
 	}
 }
+
+func (p *StreamPosition) observeSnapshotLine() {
+	p.snapshotLinesLeft--
+	if p.snapshotLinesLeft == 0 {
+		p.position, p.known = p.afterSnapshot, true
+	}
+}
+
+// observeUpdate takes what follows UPD. A numbering that can't be followed is none.
+func (p *StreamPosition) observeUpdate(rest []byte) {
+	digits, _, _ := bytes.Cut(rest, []byte(" "))
+	offset, err := strconv.ParseUint(string(digits), 10, 64)
+	if err != nil || !p.known {
+		p.known = false
+		return
+	}
+	p.position.Offset = offset
+}
+
+// observeSnapshot takes what follows SNAPSHOT.
+func (p *StreamPosition) observeSnapshot(rest []byte) {
+	at, count, _ := bytes.Cut(rest, []byte(" "))
+	lines, err := strconv.Atoi(string(count))
+	position, positionErr := resumetoken.ParsePosition(string(at))
+	p.known = false
+	if err != nil || positionErr != nil || lines < 0 {
+		return
+	}
+	p.afterSnapshot, p.snapshotLinesLeft = position, lines
+	if lines == 0 {
+		p.position, p.known = position, true
+	}
+}
