--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -75,7 +75,7 @@
 		return err
 	}
 	budget := newDescriptorBudget(cfg, operatorFile, lock)
-	limits := downstream.Limits{Sockets: budget.forClients(len(cfg.Known.Endpoints)), RetryAfter: retryAfter(cfg.Settings.Limits)}
+	limits := downstream.Limits{Sockets: budget.forClients(len(cfg.CachedEndpoints.Endpoints)), RetryAfter: retryAfter(cfg.Settings.Limits)}
 	sibling := &siblingMonitor{lock: lock}
 	if lock != nil {
 		limits.UsedElsewhere = sibling.usedElsewhere
@@ -104,7 +104,7 @@
 		return err
 	}
 	goroutines.Go(func() { eventLoop.Run(ctx) })
-	goroutines.Go(func() { watcher.Run(ctx, cfg.Known) })
+	goroutines.Go(func() { watcher.Run(ctx, cfg.CachedEndpoints) })
 	goroutines.Go(func() {
 		operatorFile := operatorFile // what is in force, which differs from the start's
 		reloadOnHangUp(ctx, hangUps, active.reload, func() { operatorFile = reloadOperatorFile(operatorFile, operatorPath, resume) })
@@ -128,7 +128,7 @@
 	lock.SetServing(true) // before anybody is told so
 	served := make(chan error, 1)
 	goroutines.Go(func() { served <- server.Serve(listener) })
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "known", len(cfg.Known.Endpoints))
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "known", len(cfg.CachedEndpoints.Endpoints))
 
 	<-terminate.Done()
 	startDraining()
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -24,8 +24,8 @@
 	if err := json.Unmarshal(raw, &given); err != nil {
 		return fmt.Errorf("limits: %w", err)
 	}
-	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > mostTries) {
-		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, mostTries)
+	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > maxAttemptsLimit) {
+		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, maxAttemptsLimit)
 	}
 	if len(s.Classes) == 0 {
 		return errors.New("classes: missing")
@@ -38,8 +38,8 @@
 			return fmt.Errorf("%s.name: missing", at)
 		case names[class.Name]:
 			return fmt.Errorf("%s.name: %q stands there twice", at, class.Name)
-		case class.Deadline <= 0 || given.Classes[i].Deadline > longestDeadline:
-			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, longestDeadline)
+		case class.Deadline <= 0 || given.Classes[i].Deadline > maxDeadlineSeconds:
+			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, maxDeadlineSeconds)
 		}
 		names[class.Name] = true
 	}
@@ -49,7 +49,7 @@
 	return nil
 }
 
-func (f *file) limits() (Limits, error) {
+func (f *document) limits() (Limits, error) {
 	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	if v := f.Limits.Cores; v != nil {
 		l.Cores = *v
@@ -63,10 +63,10 @@
 	switch {
 	case l.Cores <= 0:
 		return l, fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
-	case l.MemoryMB < leastMemoryMB:
-		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, leastMemoryMB)
-	case l.Sockets < leastSockets:
-		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	case l.MemoryMB < minMemoryMB:
+		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, minMemoryMB)
+	case l.Sockets < minSockets:
+		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, minSockets)
 	}
 	return l, nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,17 +17,17 @@
 
 // Config is what the node is told at its start.
 type Config struct {
-	Name        string
-	Listen      string
-	Discovery   string
-	AdminAddr   string // where operators call; empty for nowhere
-	InheritedFD int    // the descriptor of the listening socket for clients; 0 if there is none
-	Seed        uint64
-	Limits      Limits
-	Known       discovery.Update // the list that this node had last; may be old
-	Settings    balance.Settings
+	Name            string
+	Listen          string
+	Discovery       string
+	AdminAddr       string // where operators call; empty for nowhere
+	InheritedFD     int    // the descriptor of the listening socket for clients; 0 if there is none
+	Seed            uint64
+	Limits          Limits
+	CachedEndpoints discovery.Update // the list that this node had last; may be old
+	Settings        balance.Settings
 
-	keys map[string]any // the file's keys as they are nested, for a later one to be held against
+	fileKeys map[string]any // the file's keys as they are nested, for a later one to be held against
 }
 
 // Limits are those of the node's machine.
@@ -42,27 +42,27 @@
 	defaultCores    = 1.0
 	defaultMemoryMB = 256
 	defaultSockets  = 1024
-	leastMemoryMB   = 16
-	leastSockets    = 64
+	minMemoryMB     = 16
+	minSockets      = 64
 	// longestDeadline and mostTries are the most that settings may ask for.
-	longestDeadline = 86400.0 // seconds
-	mostTries       = 1e6
+	maxDeadlineSeconds = 86400.0 // seconds
+	maxAttemptsLimit   = 1e6
 )
 
 // discoveryVariable wins over the file at the start, and only then.
 const discoveryVariable = "BALANCER_DISCOVERY"
 
 const (
-	mgmtVariable      = "BALANCER_MGMT"
+	adminVariable     = "BALANCER_MGMT"
 	inheritedVariable = "BALANCER_INHERITED_FD"
 )
 
 // file is BALANCER_CONFIG's form.
-type file struct {
+type document struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
-	Mgmt      string `json:"mgmt"`
+	Admin     string `json:"mgmt"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
@@ -84,12 +84,12 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	return read(raw, getenv)
+	return parse(raw, getenv)
 }
 
 // read reads a file's text.
-func read(raw []byte, getenv func(string) string) (Config, error) {
-	var f file
+func parse(raw []byte, getenv func(string) string) (Config, error) {
+	var f document
 	if err := json.Unmarshal(raw, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) && wrong.Field != "" {
@@ -97,21 +97,21 @@
 		}
 		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	c, err := f.config(getenv)
+	c, err := f.toConfig(getenv)
 	if err != nil {
 		return c, err
 	}
-	if err := json.Unmarshal(raw, &c.keys); err != nil {
+	if err := json.Unmarshal(raw, &c.fileKeys); err != nil {
 		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	if c.keys["known"] != nil {
-		c.keys["known"] = "" // a list of its own, which is checked by itself
+	if c.fileKeys["known"] != nil {
+		c.fileKeys["known"] = "" // a list of its own, which is checked by itself
 	}
 	return c, nil
 }
 
-func (f *file) config(getenv func(string) string) (Config, error) {
-	c := Config{Name: first(getenv("BALANCER_NAME"), f.Name)}
+func (f *document) toConfig(getenv func(string) string) (Config, error) {
+	c := Config{Name: firstNonEmpty(getenv("BALANCER_NAME"), f.Name)}
 	var err error
 	if c.Listen, err = address("listen", "BALANCER_LISTEN", f.Listen, getenv); err != nil {
 		return c, err
@@ -119,8 +119,8 @@
 	if c.Discovery, err = address("discovery", discoveryVariable, f.Discovery, getenv); err != nil {
 		return c, err
 	}
-	if f.Mgmt != "" || getenv(mgmtVariable) != "" {
-		if c.AdminAddr, err = address("mgmt", mgmtVariable, f.Mgmt, getenv); err != nil {
+	if f.Admin != "" || getenv(adminVariable) != "" {
+		if c.AdminAddr, err = address("mgmt", adminVariable, f.Admin, getenv); err != nil {
 			return c, err
 		}
 	}
@@ -136,7 +136,7 @@
 		return c, err
 	}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
-		if c.Known, err = discovery.Decode(f.Known); err != nil {
+		if c.CachedEndpoints, err = discovery.Decode(f.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -166,7 +166,7 @@
 	return addr, nil
 }
 
-func first(words ...string) string {
+func firstNonEmpty(words ...string) string {
 	for _, w := range words {
 		if w != "" {
 			return w
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -12,7 +12,7 @@
 	"coralrelay/balance"
 )
 
-const good = `{"name":"n3","listen":"127.0.0.4:7070","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+const validFile = `{"name":"n3","listen":"127.0.0.4:7070","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
 "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}]},
 "settings":{"classes":[{"name":"feed","deadline":1.8,"effect":"read_like"}],"granularity":0.004}}`
@@ -31,24 +31,24 @@
 	})
 }
 
-func TestLoad(t *testing.T) {
-	c, err := load(t, good, map[string]string{"BALANCER_LISTEN": "127.0.0.5:7070"})
+func TestLoadsFileAndEnvironment(t *testing.T) {
+	c, err := load(t, validFile, map[string]string{"BALANCER_LISTEN": "127.0.0.5:7070"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	if c.Name != "n3" || c.Listen != "127.0.0.5:7070" || c.Discovery != "127.2.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
-		c.Limits != (Limits{1, 2048, 4096}) || c.Known.Generation != 41 || len(c.Known.Endpoints) != 1 ||
+		c.Limits != (Limits{1, 2048, 4096}) || c.CachedEndpoints.Generation != 41 || len(c.CachedEndpoints.Endpoints) != 1 ||
 		c.Settings.Classes[0] != (balance.Class{Name: "feed", Deadline: 1800 * time.Millisecond}) {
 		t.Errorf("got %+v", c)
 	}
-	c, err = load(t, strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},`, "", 1), nil)
+	c, err = load(t, strings.Replace(validFile, `"limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},`, "", 1), nil)
 	if err != nil || c.Limits != (Limits{defaultCores, defaultMemoryMB, defaultSockets}) {
 		t.Errorf("defaults: %+v, %v", c.Limits, err)
 	}
 }
 
 // A message names the key at fault.
-func TestFaultyKeys(t *testing.T) {
+func TestErrorNamesFaultyKey(t *testing.T) {
 	tests := []struct{ old, new, key string }{
 		{`"listen":"127.0.0.4:7070"`, `"listen":"somewhere"`, "listen"},
 		{`"listen":"127.0.0.4:7070",`, ``, "listen"},
@@ -66,26 +66,26 @@
 		{`}}`, ``, "BALANCER_CONFIG"},
 	}
 	for _, tt := range tests {
-		if _, err := load(t, strings.Replace(good, tt.old, tt.new, 1), nil); err == nil || !strings.Contains(err.Error(), tt.key) {
+		if _, err := load(t, strings.Replace(validFile, tt.old, tt.new, 1), nil); err == nil || !strings.Contains(err.Error(), tt.key) {
 			t.Errorf("%s in place of %s: error %v, want one that names %s", tt.new, tt.old, err, tt.key)
 		}
 	}
-	if _, err := load(t, good, map[string]string{"BALANCER_CONFIG": "/nowhere"}); err == nil || !strings.Contains(err.Error(), "BALANCER_CONFIG") {
+	if _, err := load(t, validFile, map[string]string{"BALANCER_CONFIG": "/nowhere"}); err == nil || !strings.Contains(err.Error(), "BALANCER_CONFIG") {
 		t.Errorf("no file: %v", err)
 	}
-	if _, err := load(t, good, map[string]string{"BALANCER_DISCOVERY": "x"}); err == nil || !strings.Contains(err.Error(), "BALANCER_DISCOVERY") {
+	if _, err := load(t, validFile, map[string]string{"BALANCER_DISCOVERY": "x"}); err == nil || !strings.Contains(err.Error(), "BALANCER_DISCOVERY") {
 		t.Errorf("variable: %v", err)
 	}
 }
 
 // whole is a file as the platform writes it; its settings have more than a node reads.
-const whole = `{"name":"n3","listen":"127.0.0.4:7070","mgmt":"127.0.0.4:15000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+const completeFile = `{"name":"n3","listen":"127.0.0.4:7070","mgmt":"127.0.0.4:15000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
 "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}]},
 "settings":{"classes":[{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}],"granularity":0.004,
 "guarantees":{"drainGrace":0.3},"limits":{"mostTries":6},"zones":["a","b"],"tiers":[]}}`
 
-const class = `{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}`
+const classText = `{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}`
 
 // reload has a node that was started with a file read another.
 func reload(t testing.TB, first, second string) (c, next Config, fixed []string, err error) {
@@ -109,7 +109,7 @@
 }
 
 // On a reload the file's discovery and its settings count; other keys wait for a restart.
-func TestReload(t *testing.T) {
+func TestReloadTakesDiscoveryAndSettings(t *testing.T) {
 	for _, tt := range []struct {
 		old, new string
 		fixed    []string
@@ -119,17 +119,17 @@
 		{`"sockets":4096`, `"sockets":512`, []string{"limits"}, func(c Config) bool { return c.Limits.Sockets == 4096 }},
 		{`"127.0.0.4:15000"`, `"127.0.0.4:15001"`, []string{"mgmt"}, func(c Config) bool { return c.AdminAddr == "127.0.0.4:15000" }},
 		{`"mostTries":6`, `"mostTries":2`, nil, func(c Config) bool { return c.Settings.Limits.MaxAttempts == 2 }},
-		{class, class + "," + strings.Replace(class, "feed", "feed_new", 1), nil, func(c Config) bool {
+		{classText, classText + "," + strings.Replace(classText, "feed", "feed_new", 1), nil, func(c Config) bool {
 			return len(c.Settings.Classes) == 2 && c.Settings.Classes[1].Name == "feed_new"
 		}},
-		{class, `{"effect":"non_idempotent","name":"other","deadline":3,"objective":1,"more":7}`, nil, func(c Config) bool {
+		{classText, `{"effect":"non_idempotent","name":"other","deadline":3,"objective":1,"more":7}`, nil, func(c Config) bool {
 			return len(c.Settings.Classes) == 1 && c.Settings.Classes[0].Idempotency == balance.NonIdempotent
 		}},
 		{`"tiers":[]`, `"tiers":["x"],"further":{}`, nil, func(c Config) bool { return true }},
 		{`{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}`, ``, nil,
-			func(c Config) bool { return len(c.Known.Endpoints) == 1 }},
+			func(c Config) bool { return len(c.CachedEndpoints.Endpoints) == 1 }},
 	} {
-		_, next, fixed, err := reload(t, whole, strings.Replace(whole, tt.old, tt.new, 1))
+		_, next, fixed, err := reload(t, completeFile, strings.Replace(completeFile, tt.old, tt.new, 1))
 		if err != nil || !slices.Equal(fixed, tt.fixed) || !tt.want(next) {
 			t.Errorf("%s: got %+v, fixed %v, %v", tt.new, next, fixed, err)
 		}
@@ -138,12 +138,12 @@
 
 // A file that can't be used is turned down whole, its discovery included, and the
 // message names the key.
-func TestReloadTurnedDown(t *testing.T) {
+func TestRejectedReloadChangesNothing(t *testing.T) {
 	type file struct{ name, text, key string }
 	files := []file{{"empty", "", "BALANCER_CONFIG"}, {"blank", " \n", "BALANCER_CONFIG"}, {"null", "null", "listen"},
-		{"a list", "[]", "BALANCER_CONFIG"}, {"two", whole + whole, "BALANCER_CONFIG"}, {"binary", "\x00\x01", "BALANCER_CONFIG"}}
-	for i := range whole {
-		files = append(files, file{fmt.Sprint("cut at ", i), whole[:i], "BALANCER_CONFIG"})
+		{"a list", "[]", "BALANCER_CONFIG"}, {"two", completeFile + completeFile, "BALANCER_CONFIG"}, {"binary", "\x00\x01", "BALANCER_CONFIG"}}
+	for i := range completeFile {
+		files = append(files, file{fmt.Sprint("cut at ", i), completeFile[:i], "BALANCER_CONFIG"})
 	}
 	for key, values := range map[string][]string{
 		`"deadline":1.8`: {"0", "-5", `"soon"`, "null", "1e300", "-1e300", "1e12", "1e400", "true", "[]", `""`, "NaN"},
@@ -155,23 +155,23 @@
 			if v == "NaN" || v == "1e400" {
 				names = "" // no JSON, or no number of Go's: its reader names what it can
 			}
-			files = append(files, file{name + ":" + v, strings.Replace(whole, key, name+":"+v, 1), names})
+			files = append(files, file{name + ":" + v, strings.Replace(completeFile, key, name+":"+v, 1), names})
 		}
 	}
 	for _, key := range []string{"name", "listen", "mgmt", "discovery", "seed", "limits", "cores", "memory_mb", "sockets", "known", "settings",
 		"classes", "deadline", "objective", "effect", "granularity", "guarantees", "drainGrace", "mostTries", "zones", "tiers"} {
-		files = append(files, file{"without " + key, strings.Replace(whole, `"`+key+`":`, `"no longer":`, 1), key})
+		files = append(files, file{"without " + key, strings.Replace(completeFile, `"`+key+`":`, `"no longer":`, 1), key})
 	}
 	files = append(files,
-		file{"no class", strings.Replace(whole, class, "", 1), "classes"},
-		file{"a class twice", strings.Replace(whole, class, class+","+class, 1), "classes[1].name"},
-		file{"a class without a name", strings.Replace(whole, `"feed"`, `""`, 1), "classes[0].name"},
-		file{"a second class without a deadline", strings.Replace(whole, class, class+`,{"name":"b","objective":1,"effect":"read_like"}`, 1), "classes[1].deadline"},
-		file{"a second class without an aim", strings.Replace(whole, class, class+`,{"name":"b","deadline":1,"effect":"read_like"}`, 1), "classes[1].objective"},
-		file{"an unknown effect", strings.Replace(whole, "read_like", "perhaps", 1), "effect"},
-		file{"no address", strings.Replace(whole, "127.2.0.1:8500", "nowhere", 1), "discovery"})
+		file{"no class", strings.Replace(completeFile, classText, "", 1), "classes"},
+		file{"a class twice", strings.Replace(completeFile, classText, classText+","+classText, 1), "classes[1].name"},
+		file{"a class without a name", strings.Replace(completeFile, `"feed"`, `""`, 1), "classes[0].name"},
+		file{"a second class without a deadline", strings.Replace(completeFile, classText, classText+`,{"name":"b","objective":1,"effect":"read_like"}`, 1), "classes[1].deadline"},
+		file{"a second class without an aim", strings.Replace(completeFile, classText, classText+`,{"name":"b","deadline":1,"effect":"read_like"}`, 1), "classes[1].objective"},
+		file{"an unknown effect", strings.Replace(completeFile, "read_like", "perhaps", 1), "effect"},
+		file{"no address", strings.Replace(completeFile, "127.2.0.1:8500", "nowhere", 1), "discovery"})
 	for _, f := range files {
-		c, next, _, err := reload(t, whole, strings.Replace(f.text, "127.2.0.1:8500", "127.2.0.9:8500", 1))
+		c, next, _, err := reload(t, completeFile, strings.Replace(f.text, "127.2.0.1:8500", "127.2.0.9:8500", 1))
 		if err == nil || !strings.Contains(err.Error(), f.key) {
 			t.Errorf("%s: error %v, want one that names %q", f.name, err, f.key)
 		}
@@ -183,19 +183,19 @@
 
 // Whatever the file has become, what takes force can be served by.
 func FuzzReload(f *testing.F) {
-	for _, text := range []string{whole, good, "", "{}", whole[:100], strings.Replace(whole, "1.8", "1e300", 1), strings.Replace(whole, "6}", "-1}", 1)} {
+	for _, text := range []string{completeFile, validFile, "", "{}", completeFile[:100], strings.Replace(completeFile, "1.8", "1e300", 1), strings.Replace(completeFile, "6}", "-1}", 1)} {
 		f.Add([]byte(text))
 	}
-	first, err := read([]byte(whole), func(string) string { return "" })
+	first, err := parse([]byte(completeFile), func(string) string { return "" })
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c, err := read(text, func(string) string { return "" })
+		c, err := parse(text, func(string) string { return "" })
 		if err != nil {
 			return
 		}
-		if lacks(first.keys, c.keys, "") == "" && (c.Discovery == "" || len(c.Settings.Classes) == 0 || c.Settings.Limits.MaxAttempts < 1) {
+		if missingKey(first.fileKeys, c.fileKeys, "") == "" && (c.Discovery == "" || len(c.Settings.Classes) == 0 || c.Settings.Limits.MaxAttempts < 1) {
 			t.Errorf("%q: taken as %+v", text, c)
 		}
 		for _, class := range c.Settings.Classes {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return c, nil, err
 	}
-	if key := lacks(c.keys, next.keys, ""); key != "" {
+	if key := missingKey(c.fileKeys, next.fileKeys, ""); key != "" {
 		return c, nil, fmt.Errorf("%s: missing", key)
 	}
 	for key, same := range map[string]bool{
@@ -37,13 +37,13 @@
 		}
 	}
 	slices.Sort(fixed)
-	c.Discovery, c.Settings, c.keys = next.Discovery, next.Settings, next.keys
+	c.Discovery, c.Settings, c.fileKeys = next.Discovery, next.Settings, next.fileKeys
 	return c, fixed, nil
 }
 
 // lacks names the first key of old's that next has not. What all of a list's entries
 // have, each of the new list's must have.
-func lacks(old, next any, path string) string {
+func missingKey(old, next any, path string) string {
 	switch old := old.(type) {
 	case map[string]any:
 		next, _ := next.(map[string]any)
@@ -55,7 +55,7 @@
 			if next[key] == nil {
 				return at
 			}
-			if missing := lacks(old[key], next[key], at); missing != "" {
+			if missing := missingKey(old[key], next[key], at); missing != "" {
 				return missing
 			}
 		}
@@ -64,9 +64,9 @@
 		if !ok {
 			return path
 		}
-		common := shared(old)
+		common := commonKeys(old)
 		for i, entry := range next {
-			if missing := lacks(common, entry, fmt.Sprintf("%s[%d]", path, i)); missing != "" {
+			if missing := missingKey(common, entry, fmt.Sprintf("%s[%d]", path, i)); missing != "" {
 				return missing
 			}
 		}
@@ -75,7 +75,7 @@
 }
 
 // shared is what all entries of a list have; nil if they are no objects.
-func shared(entries []any) any {
+func commonKeys(entries []any) any {
 	if len(entries) == 0 {
 		return nil
 	}
--- a/internal/config/stored_test.go
+++ b/internal/config/stored_test.go
@@ -13,21 +13,21 @@
 // testdata/stored/config.json, written by hand as nothing here writes one, has every key of
 // the file itself; package settings has the keys of the settings object in a file of its
 // own. It loads to the same values, and the environment variables override it by name.
-func TestStoredConfig(t *testing.T) {
+func TestReadsStoredConfig(t *testing.T) {
 	raw, err := os.ReadFile("testdata/stored/config.json")
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := Config{Name: "n3", Listen: "127.0.0.4:7070", Discovery: "127.2.0.1:8500", AdminAddr: "127.0.0.4:15000",
 		Seed: 0x8c1f30d27a5be964, Limits: Limits{Cores: 1.5, MemoryMB: 2048, Sockets: 4096},
-		Known: discovery.Update{Kind: balance.ListFull, Generation: 41, Endpoints: []discovery.Endpoint{{Addr: "127.1.0.18:7070",
+		CachedEndpoints: discovery.Update{Kind: balance.ListFull, Generation: 41, Endpoints: []discovery.Endpoint{{Addr: "127.1.0.18:7070",
 			ServerEntry: balance.ServerEntry{ID: "s1", Zone: "a", Cell: 3, StartedAt: 7 * time.Second}}}},
 		Settings: balance.Settings{Instances: 9, Limits: balance.Limits{MaxAttempts: 6},
 			Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * time.Millisecond, Deadline: 1800 * time.Millisecond}}}}
 	check := func(env map[string]string) {
 		t.Helper()
 		got, err := load(t, string(raw), env)
-		got.keys = nil // the raw keys, which Reload compares
+		got.fileKeys = nil // the raw keys, which Reload compares
 		if err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("got %+v, %v\nwant %+v", got, err, want)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,7 @@
 )
 
 // env is the settings object of an Init. Unknown fields are passed over.
-type env struct {
+type document struct {
 	Classes []struct {
 		Name      string  `json:"name"`
 		Objective float64 `json:"objective"`
@@ -54,7 +54,7 @@
 	SlotNo int `json:"slotNo"`
 }
 
-var effects = map[string]balance.Idempotency{
+var idempotencies = map[string]balance.Idempotency{
 	"read_like": balance.Idempotent, "idempotency_key": balance.IdempotencyKeyed, "non_idempotent": balance.NonIdempotent,
 }
 
@@ -64,11 +64,11 @@
 
 // longest is the most that a time may be, in seconds, some three years: far beyond it a
 // duration overflows, and what was to be endless is 0.
-const longest = 1e8
+const maxSeconds = 1e8
 
 // check names the first key that holds what no site can mean. What is missing is another
 // matter: it is 0, which turns off what it is for.
-func (e *env) check() error {
+func (e *document) validate() error {
 	g, l := &e.Guarantees, &e.Limits
 	times := map[string]float64{"granularity": e.Granularity, "guarantees.askWithin": g.AskWithin,
 		"guarantees.drainGrace": g.DrainGrace, "guarantees.graceToAnswer": g.GraceToAnswer,
@@ -85,8 +85,8 @@
 		times[fmt.Sprintf("domain.messageAim[%d]", i)] = aim
 	}
 	for _, key := range slices.Sorted(maps.Keys(times)) {
-		if t := times[key]; t < 0 || t > longest {
-			return fmt.Errorf("%s: %v is not within 0 to %v", key, t, longest)
+		if t := times[key]; t < 0 || t > maxSeconds {
+			return fmt.Errorf("%s: %v is not within 0 to %v", key, t, maxSeconds)
 		}
 	}
 	switch { // 0 is none: no such rule, a ramp without a budget
@@ -100,11 +100,11 @@
 
 // Decode reads a settings object. Errors name the key at fault.
 func Decode(raw json.RawMessage) (balance.Settings, error) {
-	var e env
+	var e document
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return balance.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	if err := e.check(); err != nil {
+	if err := e.validate(); err != nil {
 		return balance.Settings{}, fmt.Errorf("settings.%w", err)
 	}
 	g, l := e.Guarantees, e.Limits
@@ -121,7 +121,7 @@
 		Connections: balance.ConnectionTraits{GroupAffinity: e.Domain.Groups},
 	}
 	for i, c := range e.Classes {
-		effect, ok := effects[c.Effect]
+		effect, ok := idempotencies[c.Effect]
 		if !ok {
 			return s, fmt.Errorf("settings.classes[%d].effect: %q is unknown", i, c.Effect)
 		}
@@ -148,7 +148,7 @@
 // not asked for. A pushed one is asked for from the first moment on; where the settings name
 // no time within which, what a silent watch has missed counts as told after toldAfter.
 func ForWatch(s balance.Settings) balance.Settings {
-	s.SubscribeTimeout = cmp.Or(s.SubscribeTimeout, toldAfter)
+	s.SubscribeTimeout = cmp.Or(s.SubscribeTimeout, defaultSubscribeTimeout)
 	if !s.SubscribeRequired {
 		s.SubscribeRequired, s.SubscribeImmediately = true, true
 	}
@@ -156,4 +156,4 @@
 }
 
 // toldAfter is when all that a silent watch has missed counts as told.
-const toldAfter = 6 * time.Second
+const defaultSubscribeTimeout = 6 * time.Second
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -9,7 +9,7 @@
 )
 
 // with is a sound settings object in which one key holds something else.
-func with(t *testing.T, key string, value any) json.RawMessage {
+func withKey(t *testing.T, key string, value any) json.RawMessage {
 	t.Helper()
 	var s map[string]any
 	if err := json.Unmarshal([]byte(`{"classes":[{"name":"a","objective":0.3,"deadline":2,"effect":"idempotency_key","window":5}],
@@ -38,32 +38,32 @@
 
 // A value that no site can mean is refused, and the error names its key: a negative time
 // took a bound away, and one of 1e13 s overflowed to none at all.
-func TestRefused(t *testing.T) {
+func TestRejectsImpossibleValues(t *testing.T) {
 	times := []string{"granularity", "guarantees.askWithin", "guarantees.drainGrace", "guarantees.graceToAnswer", "guarantees.rampTime",
 		"guarantees.tipAfter", "limits.connectTimeout", "limits.maxRetryAfter", "classes.objective", "classes.window"}
 	for _, key := range times {
 		for _, value := range []any{-1, 1e13, 1e300, "soon"} {
-			_, err := Decode(with(t, key, value))
+			_, err := Decode(withKey(t, key, value))
 			if last := key[strings.LastIndex(key, ".")+1:]; err == nil || !strings.HasPrefix(err.Error(), "settings") || !strings.Contains(err.Error(), last) {
 				t.Errorf("%s: %v: %v", key, value, err)
 			}
 		}
-		if _, err := Decode(with(t, key, 0)); err != nil { // 0 turns off what it is for
+		if _, err := Decode(withKey(t, key, 0)); err != nil { // 0 turns off what it is for
 			t.Errorf("%s: 0: %v", key, err)
 		}
 	}
 	for key, value := range map[string]any{"granularity": 1, "guarantees.tipMultiple": -3, "nInstances": -1, "classes.effect": "any",
 		"classes.group": "rack", "domain.messageAim": []float64{-1}} {
-		if _, err := Decode(with(t, key, value)); err == nil || !strings.Contains(err.Error(), key[strings.LastIndex(key, ".")+1:]) {
+		if _, err := Decode(withKey(t, key, value)); err == nil || !strings.Contains(err.Error(), key[strings.LastIndex(key, ".")+1:]) {
 			t.Errorf("%s: %v: %v", key, value, err)
 		}
 	}
 }
 
 // What is unknown is passed over, keys and the words of those whose absence is harmless.
-func TestPassedOver(t *testing.T) {
+func TestIgnoresUnknownKeys(t *testing.T) {
 	for key, value := range map[string]any{"colour": "red", "registryMode": "by_pigeon", "report": map[string]any{"via": "smoke"}} {
-		if _, err := Decode(with(t, key, value)); err != nil {
+		if _, err := Decode(withKey(t, key, value)); err != nil {
 			t.Errorf("%s: %v: %v", key, value, err)
 		}
 	}
@@ -71,17 +71,17 @@
 
 // A node that was told no time within which to ask goes by the protocol's: with none its
 // back-off was none.
-func TestWatched(t *testing.T) {
+func TestWatchedListHasSubscribeTimeout(t *testing.T) {
 	for mode, now := range map[string]bool{"on_request": false, "pushed": true} {
 		for _, within := range []float64{0, 10} {
-			s, err := Decode(with(t, "guarantees.askWithin", within))
+			s, err := Decode(withKey(t, "guarantees.askWithin", within))
 			if err != nil {
 				t.Fatal(err)
 			}
 			s.SubscribeRequired = mode == "on_request"
 			want := 10 * time.Second
 			if within == 0 {
-				want = toldAfter
+				want = defaultSubscribeTimeout
 			}
 			if got := ForWatch(s); !got.SubscribeRequired || got.SubscribeImmediately != now || got.SubscribeTimeout != want {
 				t.Error(fmt.Sprint(mode, " ", within), got.SubscribeRequired, got.SubscribeImmediately, got.SubscribeTimeout)
--- a/internal/settings/stored_test.go
+++ b/internal/settings/stored_test.go
@@ -12,7 +12,7 @@
 
 // testdata/stored/settings.json, written by hand as nothing here writes settings, has every
 // key and every value of the enumerated ones. It decodes to the same values.
-func TestStoredSettings(t *testing.T) {
+func TestReadsStoredSettings(t *testing.T) {
 	raw, err := os.ReadFile("testdata/stored/settings.json")
 	if err != nil {
 		t.Fatal(err)
