--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,7 +1,5 @@
 package config
 
-// What no node can serve by.
-
 import (
 	"encoding/json"
 	"errors"
@@ -10,9 +8,10 @@
 	"coralrelay/balance"
 )
 
-// checkSettings names the first of the settings that a node can't serve by.
+// checkSettings returns an error for the first of the settings that no node can serve with;
+// its text begins with the key below settings.
 func checkSettings(raw json.RawMessage, s *balance.Settings) error {
-	// As they were written: beyond some size they are no durations any more.
+	// As they were written: beyond some size they do not fit a duration.
 	var given struct {
 		Classes []struct {
 			Deadline float64 `json:"deadline"`
@@ -49,6 +48,7 @@
 	return nil
 }
 
+// limits returns the limits of the file, with defaults for those that it lacks.
 func (f *document) limits() (Limits, error) {
 	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	if v := f.Limits.Cores; v != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,6 @@
-// Package config is the one place where the node's environment and its
-// configuration are read, checked and given defaults.
+// Package config is the one place where the node's environment and the platform's
+// configuration file are read, checked and given defaults. It starts no goroutine; its
+// errors begin with the variable or key at fault.
 package config
 
 import (
@@ -15,7 +16,7 @@
 	"coralrelay/internal/settings"
 )
 
-// Config is what the node is told at its start.
+// Config is the configuration that a node is started with.
 type Config struct {
 	Name            string
 	Listen          string
@@ -27,37 +28,39 @@
 	CachedEndpoints discovery.Update // the list that this node had last; may be old
 	Settings        balance.Settings
 
-	fileKeys map[string]any // the file's keys as they are nested, for a later one to be held against
+	fileKeys map[string]any // the file's keys as they are nested, to compare with those of a reload
 }
 
-// Limits are those of the node's machine.
+// Limits are those of the node on its machine.
 type Limits struct {
-	Cores    float64
-	MemoryMB int
-	Sockets  int
+	Cores    float64 // threads that may run Go code
+	MemoryMB int     // MiB of resident memory
+	Sockets  int     // open at once
 }
 
-// The defaults, for a node that is told nothing else.
+// Defaults and bounds.
 const (
 	defaultCores    = 1.0
 	defaultMemoryMB = 256
 	defaultSockets  = 1024
 	minMemoryMB     = 16
 	minSockets      = 64
-	// longestDeadline and mostTries are the most that settings may ask for.
+	// maxDeadlineSeconds and maxAttemptsLimit are the most that settings may ask for.
 	maxDeadlineSeconds = 86400.0 // seconds
 	maxAttemptsLimit   = 1e6
 )
 
-// discoveryVariable wins over the file at the start, and only then.
-const discoveryVariable = "BALANCER_DISCOVERY"
-
+// Environment variables; one that is set wins over its key in the file.
 const (
+	fileVariable      = "BALANCER_CONFIG"
+	nameVariable      = "BALANCER_NAME"
+	listenVariable    = "BALANCER_LISTEN"
+	discoveryVariable = "BALANCER_DISCOVERY" // at the start only
 	adminVariable     = "BALANCER_MGMT"
 	inheritedVariable = "BALANCER_INHERITED_FD"
 )
 
-// file is BALANCER_CONFIG's form.
+// document is the form of the file that BALANCER_CONFIG names.
 type document struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
@@ -73,21 +76,21 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// Load reads the environment through getenv and the file that it names. The
-// environment's values win. Errors name the key at fault.
+// Load reads the environment through getenv, and the file that it names. The environment's
+// values win. Errors begin with the variable or key at fault.
 func Load(getenv func(string) string) (Config, error) {
-	path := getenv("BALANCER_CONFIG")
+	path := getenv(fileVariable)
 	if path == "" {
-		return Config{}, errors.New("BALANCER_CONFIG: not set")
+		return Config{}, errors.New(fileVariable + ": not set")
 	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return Config{}, fmt.Errorf("%s: %w", fileVariable, err)
 	}
 	return parse(raw, getenv)
 }
 
-// read reads a file's text.
+// parse parses and checks a file's text.
 func parse(raw []byte, getenv func(string) string) (Config, error) {
 	var f document
 	if err := json.Unmarshal(raw, &f); err != nil {
@@ -95,25 +98,26 @@
 		if errors.As(err, &wrong) && wrong.Field != "" {
 			return Config{}, fmt.Errorf("%s: %w", wrong.Field, err)
 		}
-		return Config{}, fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return Config{}, fmt.Errorf("%s: %w", fileVariable, err)
 	}
 	c, err := f.toConfig(getenv)
 	if err != nil {
 		return c, err
 	}
 	if err := json.Unmarshal(raw, &c.fileKeys); err != nil {
-		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
+		return c, fmt.Errorf("%s: %w", fileVariable, err)
 	}
 	if c.fileKeys["known"] != nil {
-		c.fileKeys["known"] = "" // a list of its own, which is checked by itself
+		c.fileKeys["known"] = "" // a list with a form of its own, which is checked by itself
 	}
 	return c, nil
 }
 
+// toConfig checks the file's values and fills in those of the environment.
 func (f *document) toConfig(getenv func(string) string) (Config, error) {
-	c := Config{Name: firstNonEmpty(getenv("BALANCER_NAME"), f.Name)}
+	c := Config{Name: firstNonEmpty(getenv(nameVariable), f.Name)}
 	var err error
-	if c.Listen, err = address("listen", "BALANCER_LISTEN", f.Listen, getenv); err != nil {
+	if c.Listen, err = address("listen", listenVariable, f.Listen, getenv); err != nil {
 		return c, err
 	}
 	if c.Discovery, err = address("discovery", discoveryVariable, f.Discovery, getenv); err != nil {
@@ -152,6 +156,7 @@
 	return c, nil
 }
 
+// address returns the address under key, or that of a variable that is set.
 func address(key, variable, inFile string, getenv func(string) string) (string, error) {
 	addr := inFile
 	if v := getenv(variable); v != "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// A message names the key at fault.
+// An error names the key at fault.
 func TestErrorNamesFaultyKey(t *testing.T) {
 	tests := []struct{ old, new, key string }{
 		{`"listen":"127.0.0.4:7070"`, `"listen":"somewhere"`, "listen"},
@@ -78,7 +78,7 @@
 	}
 }
 
-// whole is a file as the platform writes it; its settings have more than a node reads.
+// completeFile is a file as the platform writes it; its settings have more than a node reads.
 const completeFile = `{"name":"n3","listen":"127.0.0.4:7070","mgmt":"127.0.0.4:15000","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},
 "known":{"generation":41,"reset":true,"instances":[{"instanceId":"s1","hostPort":"127.1.0.18:7070","zone":"a","lifecycle":"active","weight":1.0,"startedAtMs":0}]},
@@ -87,7 +87,7 @@
 
 const classText = `{"name":"feed","deadline":1.8,"objective":0.3,"effect":"read_like"}`
 
-// reload has a node that was started with a file read another.
+// reload starts with a file and reloads another.
 func reload(t testing.TB, first, second string) (c, next Config, fixed []string, err error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
@@ -136,8 +136,8 @@
 	}
 }
 
-// A file that can't be used is turned down whole, its discovery included, and the
-// message names the key.
+// A file that can't be used is rejected as a whole, its discovery included, and the error
+// names the key.
 func TestRejectedReloadChangesNothing(t *testing.T) {
 	type file struct{ name, text, key string }
 	files := []file{{"empty", "", "BALANCER_CONFIG"}, {"blank", " \n", "BALANCER_CONFIG"}, {"null", "null", "listen"},
@@ -181,7 +181,7 @@
 	}
 }
 
-// Whatever the file has become, what takes force can be served by.
+// Any file that takes force can be served with.
 func FuzzReload(f *testing.F) {
 	for _, text := range []string{completeFile, validFile, "", "{}", completeFile[:100], strings.Replace(completeFile, "1.8", "1e300", 1), strings.Replace(completeFile, "6}", "-1}", 1)} {
 		f.Add([]byte(text))
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -1,7 +1,5 @@
 package config
 
-// What of a file read again takes force.
-
 import (
 	"fmt"
 	"maps"
@@ -9,13 +7,12 @@
 	"strings"
 )
 
-// Reload reads the file again for a node that runs as c tells. Of what it holds the
-// discovery's address and the settings change while the node runs, and there the
-// file counts: the environment still has the address of the start. All of the file is
-// taken or none of it: what it may not hold, and what it lacks of the keys that the
-// file in force has, is an error, and c stays as it is. fixed names the keys that
-// would need a restart.
-func (c Config) Reload(getenv func(string) string) (next Config, fixed []string, err error) {
+// Reload reads the file again for a node that runs with c. The address of discovery and the
+// settings change while the node runs, and for these the file wins: the environment still
+// has the address of the start. All of the file takes force or none of it: a value that is
+// not allowed, or a missing key that the file in force has, is an error, and c stays as it
+// is. restartKeys names the keys that have changed and need a restart, sorted.
+func (c Config) Reload(getenv func(string) string) (next Config, restartKeys []string, err error) {
 	next, err = Load(func(name string) string {
 		if name == discoveryVariable {
 			return ""
@@ -33,16 +30,16 @@
 		"limits": next.Limits == c.Limits, "mgmt": next.AdminAddr == c.AdminAddr,
 	} {
 		if !same {
-			fixed = append(fixed, key)
+			restartKeys = append(restartKeys, key)
 		}
 	}
-	slices.Sort(fixed)
+	slices.Sort(restartKeys)
 	c.Discovery, c.Settings, c.fileKeys = next.Discovery, next.Settings, next.fileKeys
-	return c, fixed, nil
+	return c, restartKeys, nil
 }
 
-// lacks names the first key of old's that next has not. What all of a list's entries
-// have, each of the new list's must have.
+// missingKey returns the path of the first key of old that next lacks, or an empty string.
+// The keys that all entries of an old list have, each entry of the new list must have.
 func missingKey(old, next any, path string) string {
 	switch old := old.(type) {
 	case map[string]any:
@@ -74,7 +71,7 @@
 	return ""
 }
 
-// shared is what all entries of a list have; nil if they are no objects.
+// commonKeys returns the keys that all entries of a list have; nil if they are no objects.
 func commonKeys(entries []any) any {
 	if len(entries) == 0 {
 		return nil
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,6 +1,6 @@
-// Package settings reads the settings object that an instance is given at its
-// start: the adapter finds it in the simulator's first message, the node in its
-// configuration. Names and units are the same in both.
+// Package settings decodes the settings object that an instance is given at its start: the
+// adapter finds it in the simulator's first message, the node in its configuration. Names
+// and units are the same in both. It starts no goroutine; its errors name the key at fault.
 package settings
 
 import (
@@ -15,7 +15,7 @@
 	"coralrelay/balance"
 )
 
-// env is the settings object of an Init. Unknown fields are passed over.
+// document is the settings object in JSON; times are in seconds. Unknown keys are ignored.
 type document struct {
 	Classes []struct {
 		Name      string  `json:"name"`
@@ -54,99 +54,141 @@
 	SlotNo int `json:"slotNo"`
 }
 
+// idempotencies maps the values of a class's effect.
 var idempotencies = map[string]balance.Idempotency{
 	"read_like": balance.Idempotent, "idempotency_key": balance.IdempotencyKeyed, "non_idempotent": balance.NonIdempotent,
 }
 
+// scopes maps the values of a class's group: where the repeats of a key are dropped.
 var scopes = map[string]balance.KeyScope{
 	"": balance.ScopeAll, "all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
 }
 
-// longest is the most that a time may be, in seconds, some three years: far beyond it a
-// duration overflows, and what was to be endless is 0.
+// maxSeconds bounds a time: some three years. Far beyond it a duration overflows, and what
+// was to be endless would be 0.
 const maxSeconds = 1e8
 
-// check names the first key that holds what no site can mean. What is missing is another
-// matter: it is 0, which turns off what it is for.
-func (e *document) validate() error {
-	g, l := &e.Guarantees, &e.Limits
-	times := map[string]float64{"granularity": e.Granularity, "guarantees.askWithin": g.AskWithin,
-		"guarantees.drainGrace": g.DrainGrace, "guarantees.graceToAnswer": g.GraceToAnswer,
-		"guarantees.rampTime": g.RampTime, "guarantees.tipAfter": g.TipAfter,
-		"limits.connectTimeout": l.ConnectTimeout, "limits.maxRetryAfter": l.MaxRetryAfter}
-	for i, c := range e.Classes {
-		at := fmt.Sprintf("classes[%d].", i)
-		times[at+"objective"], times[at+"deadline"], times[at+"window"] = c.Objective, c.Deadline, c.Window
-		if 2*e.Granularity >= c.Deadline && c.Deadline > 0 { // an answer has to be out two of them before
-			return fmt.Errorf("granularity: %v leaves no time of %sdeadline %v", e.Granularity, at, c.Deadline)
+// validate returns an error for the first key whose value no deployment can mean. A missing
+// key is 0, which turns off what it is for.
+func (d *document) validate() error {
+	guarantees, limits := &d.Guarantees, &d.Limits
+	times := map[string]float64{"granularity": d.Granularity, "guarantees.askWithin": guarantees.AskWithin,
+		"guarantees.drainGrace": guarantees.DrainGrace, "guarantees.graceToAnswer": guarantees.GraceToAnswer,
+		"guarantees.rampTime": guarantees.RampTime, "guarantees.tipAfter": guarantees.TipAfter,
+		"limits.connectTimeout": limits.ConnectTimeout, "limits.maxRetryAfter": limits.MaxRetryAfter}
+	for i, class := range d.Classes {
+		prefix := fmt.Sprintf("classes[%d].", i)
+		times[prefix+"objective"], times[prefix+"deadline"], times[prefix+"window"] = class.Objective, class.Deadline, class.Window
+		if 2*d.Granularity >= class.Deadline && class.Deadline > 0 { // an answer has to be written two of them before
+			return fmt.Errorf("granularity: %v leaves no time of %sdeadline %v", d.Granularity, prefix, class.Deadline)
 		}
 	}
-	for i, aim := range e.Domain.MessageAim {
-		times[fmt.Sprintf("domain.messageAim[%d]", i)] = aim
+	for i, objective := range d.Domain.MessageAim {
+		times[fmt.Sprintf("domain.messageAim[%d]", i)] = objective
 	}
 	for _, key := range slices.Sorted(maps.Keys(times)) {
-		if t := times[key]; t < 0 || t > maxSeconds {
-			return fmt.Errorf("%s: %v is not within 0 to %v", key, t, maxSeconds)
+		if seconds := times[key]; seconds < 0 || seconds > maxSeconds {
+			return fmt.Errorf("%s: %v is not within 0 to %v", key, seconds, maxSeconds)
 		}
 	}
 	switch { // 0 is none: no such rule, a ramp without a budget
-	case g.TipMultiple < 0 || g.TipMultiple > 1e6:
-		return fmt.Errorf("guarantees.tipMultiple: %v is not within 0 to 1e6", g.TipMultiple)
-	case e.NInstances < 0:
-		return fmt.Errorf("nInstances: %d is under 0", e.NInstances)
+	case guarantees.TipMultiple < 0 || guarantees.TipMultiple > 1e6:
+		return fmt.Errorf("guarantees.tipMultiple: %v is not within 0 to 1e6", guarantees.TipMultiple)
+	case d.NInstances < 0:
+		return fmt.Errorf("nInstances: %d is under 0", d.NInstances)
 	}
 	return nil
 }
 
-// Decode reads a settings object. Errors name the key at fault.
+// Decode decodes and validates a settings object. Errors name the key at fault.
 func Decode(raw json.RawMessage) (balance.Settings, error) {
-	var e document
-	if err := json.Unmarshal(raw, &e); err != nil {
+	var d document
+	if err := json.Unmarshal(raw, &d); err != nil {
 		return balance.Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	if err := e.validate(); err != nil {
+	if err := d.validate(); err != nil {
 		return balance.Settings{}, fmt.Errorf("settings.%w", err)
 	}
-	g, l := e.Guarantees, e.Limits
-	s := balance.Settings{
-		Instance: e.SlotNo, Instances: e.NInstances, Tick: Seconds(e.Granularity),
-		SubscribeRequired: e.RegistryMode == "on_request", SubscribeTimeout: Seconds(g.AskWithin),
-		Rules: balance.Rules{AnswerGrace: Seconds(g.GraceToAnswer), DrainGrace: Seconds(g.DrainGrace),
-			InitialCapacity: g.ColdFrom, SlowStartWindow: Seconds(g.RampTime), OverloadMultiple: g.TipMultiple,
-			OverloadDuration: Seconds(g.TipAfter)},
-		Limits: balance.Limits{ProbesAllowed: l.Probing, SendRetryAfter: l.RetryAfter, MaxAttempts: l.MostTries,
-			MaxRetryAfter: Seconds(l.MaxRetryAfter), ConnectTimeout: Seconds(l.ConnectTimeout)},
-		LoadReporting: balance.LoadReporting{InOutcomes: e.Report.Via == "answers",
-			InProbeResults: e.Report.Via == "answers" || e.Report.Via == "probe"},
-		Connections: balance.ConnectionTraits{GroupAffinity: e.Domain.Groups},
+	decoded := balance.Settings{
+		Instance:          d.SlotNo,
+		Instances:         d.NInstances,
+		Tick:              Seconds(d.Granularity),
+		SubscribeRequired: d.RegistryMode == "on_request",
+		SubscribeTimeout:  Seconds(d.Guarantees.AskWithin),
+		Rules:             d.rules(),
+		Limits:            d.limits(),
+		LoadReporting: balance.LoadReporting{
+			InOutcomes:     d.Report.Via == "answers",
+			InProbeResults: d.Report.Via == "answers" || d.Report.Via == "probe",
+		},
+		Connections: balance.ConnectionTraits{GroupAffinity: d.Domain.Groups},
 	}
-	for i, c := range e.Classes {
-		effect, ok := idempotencies[c.Effect]
-		if !ok {
-			return s, fmt.Errorf("settings.classes[%d].effect: %q is unknown", i, c.Effect)
+	for i := range d.Classes {
+		class, err := d.class(i)
+		if err != nil {
+			return decoded, err
 		}
-		scope, ok := scopes[c.Group]
-		if !ok {
-			return s, fmt.Errorf("settings.classes[%d].group: %q is unknown", i, c.Group)
-		}
-		class := balance.Class{Name: c.Name, LatencyObjective: Seconds(c.Objective), Deadline: Seconds(c.Deadline),
-			Idempotency: effect, KeyScope: scope, KeyWindow: Seconds(c.Window)}
-		if i < len(e.Domain.MessageAim) {
-			class.MessageLatencyObjective = Seconds(e.Domain.MessageAim[i])
-		}
-		s.Classes = append(s.Classes, class)
+		decoded.Classes = append(decoded.Classes, class)
+	}
+	return decoded, nil
+}
+
+func (d *document) rules() balance.Rules {
+	g := &d.Guarantees
+	return balance.Rules{
+		AnswerGrace:      Seconds(g.GraceToAnswer),
+		DrainGrace:       Seconds(g.DrainGrace),
+		InitialCapacity:  g.ColdFrom,
+		SlowStartWindow:  Seconds(g.RampTime),
+		OverloadMultiple: g.TipMultiple,
+		OverloadDuration: Seconds(g.TipAfter),
+	}
+}
+
+func (d *document) limits() balance.Limits {
+	l := &d.Limits
+	return balance.Limits{
+		ProbesAllowed:  l.Probing,
+		SendRetryAfter: l.RetryAfter,
+		MaxAttempts:    l.MostTries,
+		MaxRetryAfter:  Seconds(l.MaxRetryAfter),
+		ConnectTimeout: Seconds(l.ConnectTimeout),
+	}
+}
+
+// class returns the i-th class.
+func (d *document) class(i int) (balance.Class, error) {
+	c := &d.Classes[i]
+	idempotency, ok := idempotencies[c.Effect]
+	if !ok {
+		return balance.Class{}, fmt.Errorf("settings.classes[%d].effect: %q is unknown", i, c.Effect)
+	}
+	scope, ok := scopes[c.Group]
+	if !ok {
+		return balance.Class{}, fmt.Errorf("settings.classes[%d].group: %q is unknown", i, c.Group)
+	}
+	class := balance.Class{
+		Name:             c.Name,
+		LatencyObjective: Seconds(c.Objective),
+		Deadline:         Seconds(c.Deadline),
+		Idempotency:      idempotency,
+		KeyScope:         scope,
+		KeyWindow:        Seconds(c.Window),
+	}
+	if i < len(d.Domain.MessageAim) {
+		class.MessageLatencyObjective = Seconds(d.Domain.MessageAim[i])
 	}
-	return s, nil
+	return class, nil
 }
 
-// Seconds converts the settings' seconds, which count in microseconds.
+// Seconds converts seconds as the settings have them, rounded to the microsecond.
 func Seconds(s float64) time.Duration {
 	return time.Duration(math.Round(s*1e6)) * time.Microsecond
 }
 
-// Watched returns settings as the real node goes by them: it hears of no list that it has
-// not asked for. A pushed one is asked for from the first moment on; where the settings name
-// no time within which, what a silent watch has missed counts as told after toldAfter.
+// ForWatch returns the settings as a real node uses them: it receives no list without a
+// watch. A list that the settings call pushed is watched from the first moment on; where
+// they name no time to subscribe within, defaultSubscribeTimeout stands in.
 func ForWatch(s balance.Settings) balance.Settings {
 	s.SubscribeTimeout = cmp.Or(s.SubscribeTimeout, defaultSubscribeTimeout)
 	if !s.SubscribeRequired {
@@ -155,5 +197,5 @@
 	return s
 }
 
-// toldAfter is when all that a silent watch has missed counts as told.
+// defaultSubscribeTimeout is when all that a silent watch has missed counts as received.
 const defaultSubscribeTimeout = 6 * time.Second
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// with is a sound settings object in which one key holds something else.
+// withKey is a valid settings object in which one key holds something else.
 func withKey(t *testing.T, key string, value any) json.RawMessage {
 	t.Helper()
 	var s map[string]any
@@ -19,8 +19,8 @@
 		t.Fatal(err)
 	}
 	at := s
-	words := strings.Split(key, ".")
-	for _, w := range words[:len(words)-1] {
+	path := strings.Split(key, ".")
+	for _, w := range path[:len(path)-1] {
 		switch next := at[w].(type) {
 		case map[string]any:
 			at = next
@@ -28,7 +28,7 @@
 			at = next[0].(map[string]any)
 		}
 	}
-	at[words[len(words)-1]] = value
+	at[path[len(path)-1]] = value
 	raw, err := json.Marshal(s)
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +36,7 @@
 	return raw
 }
 
-// A value that no site can mean is refused, and the error names its key: a negative time
+// A value that no deployment can mean is rejected, and the error names its key: a negative time
 // took a bound away, and one of 1e13 s overflowed to none at all.
 func TestRejectsImpossibleValues(t *testing.T) {
 	times := []string{"granularity", "guarantees.askWithin", "guarantees.drainGrace", "guarantees.graceToAnswer", "guarantees.rampTime",
@@ -60,7 +60,7 @@
 	}
 }
 
-// What is unknown is passed over, keys and the words of those whose absence is harmless.
+// Unknown keys are ignored, and so are unknown values where a missing one is harmless.
 func TestIgnoresUnknownKeys(t *testing.T) {
 	for key, value := range map[string]any{"colour": "red", "registryMode": "by_pigeon", "report": map[string]any{"via": "smoke"}} {
 		if _, err := Decode(withKey(t, key, value)); err != nil {
@@ -69,8 +69,8 @@
 	}
 }
 
-// A node that was told no time within which to ask goes by the protocol's: with none its
-// back-off was none.
+// A node whose settings name no time to subscribe within uses the protocol's: with none it
+// would have no backoff.
 func TestWatchedListHasSubscribeTimeout(t *testing.T) {
 	for mode, now := range map[string]bool{"on_request": false, "pushed": true} {
 		for _, within := range []float64{0, 10} {
