--- a/internal/operatorconfig/accounts.go
+++ b/internal/operatorconfig/accounts.go
@@ -7,7 +7,7 @@
 )
 
 // mostMembers is how many there may be.
-const mostMembers = 1024
+const maxMembers = 1024
 
 // Accounts is how the limits of accounts are dealt over the members. All have it alike.
 type Accounts struct {
@@ -19,8 +19,8 @@
 	return account.LeaseConfig{Epoch: l.Epoch.Duration, HolderTimeout: l.Hold.Duration, FleetSize: l.Accounts.Members}
 }
 
-func (a *Accounts) check(c *checks, l *Fleet) {
-	c.fault(a.Members < 0 || a.Members > mostMembers, "fleet.accounts.members", a.Members, "0 to 1024")
-	c.fault(a.Members > 0 && !l.ReplicatedLog.IsEnabled(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
-	c.fault(l.ReplicatedLog.IsEnabled() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
+func (a *Accounts) check(c *checker, l *Fleet) {
+	c.rejectIf(a.Members < 0 || a.Members > maxMembers, "fleet.accounts.members", a.Members, "0 to 1024")
+	c.rejectIf(a.Members > 0 && !l.ReplicatedLog.IsEnabled(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
+	c.rejectIf(l.ReplicatedLog.IsEnabled() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
 }
--- a/internal/operatorconfig/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -29,31 +29,31 @@
 func defaultFleet() Fleet {
 	return Fleet{Peers: []string{}, Interval: Duration{100 * time.Millisecond}, Epoch: Duration{1500 * time.Millisecond},
 		Hold: Duration{30 * time.Second}, Fresh: Duration{3 * time.Second}, Retries: 0.2, Shun: 0.25,
-		ReplicatedLog: ReplicatedLog{Voters: []Voter{}, Lease: Duration{2 * time.Second}}, Zones: defaultZones(), SLO: defaultPromises()}
+		ReplicatedLog: ReplicatedLog{Voters: []Voter{}, Lease: Duration{2 * time.Second}}, Zones: defaultZones(), SLO: defaultSLO()}
 }
 
-func isIP(s string) bool {
+func isIPPort(s string) bool {
 	_, err := netip.ParseAddrPort(s)
 	return err == nil
 }
 
-func (l *Fleet) check(c *checks) {
+func (l *Fleet) check(c *checker) {
 	on := l.Agent != ""
-	c.fault(on && !isAddress(l.Agent), "fleet.agent", l.Agent, "HOST:PORT")
-	c.fault(on && (l.Name == "" || len(l.Name) > 64), "fleet.name", l.Name, "1 to 64 bytes, as fleet.agent is set")
-	c.fault(on && !isIP(l.Bind), "fleet.bind", l.Bind, "IP:PORT, as fleet.agent is set")
-	c.fault(l.Advertise != "" && !isIP(l.Advertise), "fleet.advertise", l.Advertise, "IP:PORT")
-	c.fault(on && l.Key == "", "fleet.key", l.Key, "a key file, as fleet.agent is set")
+	c.rejectIf(on && !isHostPort(l.Agent), "fleet.agent", l.Agent, "HOST:PORT")
+	c.rejectIf(on && (l.Name == "" || len(l.Name) > 64), "fleet.name", l.Name, "1 to 64 bytes, as fleet.agent is set")
+	c.rejectIf(on && !isIPPort(l.Bind), "fleet.bind", l.Bind, "IP:PORT, as fleet.agent is set")
+	c.rejectIf(l.Advertise != "" && !isIPPort(l.Advertise), "fleet.advertise", l.Advertise, "IP:PORT")
+	c.rejectIf(on && l.Key == "", "fleet.key", l.Key, "a key file, as fleet.agent is set")
 	for _, p := range l.Peers {
-		c.fault(!isIP(p), "fleet.peers", p, "IP:PORT")
+		c.rejectIf(!isIPPort(p), "fleet.peers", p, "IP:PORT")
 	}
-	c.within("fleet.interval", l.Interval, 20*time.Millisecond, 5*time.Second)
-	c.within("fleet.epoch", l.Epoch, 200*time.Millisecond, time.Minute)
-	c.within("fleet.hold", l.Hold, l.Epoch.Duration, time.Hour)
-	c.within("fleet.fresh", l.Fresh, 200*time.Millisecond, time.Minute)
+	c.duration("fleet.interval", l.Interval, 20*time.Millisecond, 5*time.Second)
+	c.duration("fleet.epoch", l.Epoch, 200*time.Millisecond, time.Minute)
+	c.duration("fleet.hold", l.Hold, l.Epoch.Duration, time.Hour)
+	c.duration("fleet.fresh", l.Fresh, 200*time.Millisecond, time.Minute)
 	c.number("fleet.retries", l.Retries, 0, 10)
 	c.number("fleet.shun", l.Shun, 0, 1)
-	c.fault(l.Zone != "" && !isName(l.Zone, longestZone), "fleet.zone", l.Zone, "1 to 24 bytes without blanks")
+	c.rejectIf(l.Zone != "" && !isWord(l.Zone, maxZoneNameBytes), "fleet.zone", l.Zone, "1 to 24 bytes without blanks")
 	l.ReplicatedLog.check(c, l)
 	l.Zones.check(c, l)
 	l.Accounts.check(c, l)
--- a/internal/operatorconfig/load.go
+++ b/internal/operatorconfig/load.go
@@ -16,17 +16,17 @@
 )
 
 // largest bounds the file, in bytes.
-const largest = 1 << 20
+const maxFileBytes = 1 << 20
 
 // Load reads and checks the file at path. JSON is read here; for a CUE file
 // coralctl beside this program is started, which ends before Load returns.
 func Load(path string) (File, error) {
-	raw, err := readAll(path)
+	raw, err := readFile(path)
 	if err != nil {
 		return File{}, fmt.Errorf("--config: %w", err)
 	}
 	if filepath.Ext(path) == ".cue" {
-		if raw, err = export(path); err != nil {
+		if raw, err = exportCUE(path); err != nil {
 			return File{}, fmt.Errorf("--config: %w", err)
 		}
 	}
@@ -37,15 +37,15 @@
 	return f, nil
 }
 
-func readAll(path string) ([]byte, error) {
+func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = f.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(f, largest+1))
-	if err == nil && len(raw) > largest {
-		err = fmt.Errorf("%s: over %d bytes", path, largest)
+	raw, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err == nil && len(raw) > maxFileBytes {
+		err = fmt.Errorf("%s: over %d bytes", path, maxFileBytes)
 	}
 	return raw, err
 }
@@ -69,11 +69,11 @@
 }
 
 // exporting bounds the helper that reads CUE.
-const exporting = 20 * time.Second
+const exportTimeout = 20 * time.Second
 
 // export has coralctl turn a CUE file into JSON. CUE is heavy; the helper is gone
 // before the node serves.
-func export(path string) ([]byte, error) {
+func exportCUE(path string) ([]byte, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 	if err := c.Start(); err != nil {
 		return nil, err
 	}
-	timer := time.AfterFunc(exporting, func() { _ = c.Process.Kill() })
+	timer := time.AfterFunc(exportTimeout, func() { _ = c.Process.Kill() })
 	defer timer.Stop()
 	if err := c.Wait(); err != nil {
 		return nil, fmt.Errorf("%s", strings.TrimSpace(complaint.String()+" "+err.Error()))
--- a/internal/operatorconfig/operator.go
+++ b/internal/operatorconfig/operator.go
@@ -71,56 +71,56 @@
 }
 
 // checks gathers faults.
-type checks struct{ faults []error }
+type checker struct{ errs []error }
 
-func (c *checks) fault(bad bool, key string, found any, allowed string) {
+func (c *checker) rejectIf(bad bool, key string, found any, allowed string) {
 	if bad {
-		c.faults = append(c.faults, KeyError{key, fmt.Sprintf("%q", fmt.Sprint(found)), allowed})
+		c.errs = append(c.errs, KeyError{key, fmt.Sprintf("%q", fmt.Sprint(found)), allowed})
 	}
 }
 
-func (c *checks) within(key string, d Duration, least, most time.Duration) {
-	c.fault(d.Duration < least || d.Duration > most, key, d, fmt.Sprintf("%v to %v", least, most))
+func (c *checker) duration(key string, d Duration, least, most time.Duration) {
+	c.rejectIf(d.Duration < least || d.Duration > most, key, d, fmt.Sprintf("%v to %v", least, most))
 }
 
-func (c *checks) number(key string, x, least, most float64) {
-	c.fault(!(x >= least && x <= most), key, x, fmt.Sprintf("%g to %g", least, most))
+func (c *checker) number(key string, x, least, most float64) {
+	c.rejectIf(!(x >= least && x <= most), key, x, fmt.Sprintf("%g to %g", least, most))
 }
 
-func (c *checks) oneOf(key, found string, allowed ...string) {
-	c.fault(!slices.Contains(allowed, found), key, found, strings.Join(allowed, ", "))
+func (c *checker) oneOf(key, found string, allowed ...string) {
+	c.rejectIf(!slices.Contains(allowed, found), key, found, strings.Join(allowed, ", "))
 }
 
 // Check returns every fault; the schema in CUE says the same.
 func (f *File) Check() error {
-	var c checks
+	var c checker
 	c.oneOf("log.level", f.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", f.Log.Format, "text", "json")
 	f.Resume.check(&c)
 	f.UDP.check(&c)
 	f.Fleet.check(&c)
-	return errors.Join(c.faults...)
+	return errors.Join(c.errs...)
 }
 
-func (r *Resume) check(c *checks) {
-	c.fault(r.Enabled && r.Keys == "", "resume.keys", r.Keys, "a folder of key files, as resume.enabled is true")
-	c.within("resume.life", r.TokenTTL, time.Second, 24*time.Hour)
-	c.within("resume.skew", r.ClockSkew, 0, time.Minute)
-	c.within("resume.wait", r.ArbiterTimeout, time.Millisecond, 5*time.Second)
-	c.fault(r.ReplayGuard.Records < 1 || r.ReplayGuard.Records > 100_000_000, "resume.ledger.records", r.ReplayGuard.Records, "1 to 100000000")
-	c.fault(r.ReplayGuard.Listen != "" && !isAddress(r.ReplayGuard.Listen), "resume.ledger.listen", r.ReplayGuard.Listen, "HOST:PORT")
+func (r *Resume) check(c *checker) {
+	c.rejectIf(r.Enabled && r.Keys == "", "resume.keys", r.Keys, "a folder of key files, as resume.enabled is true")
+	c.duration("resume.life", r.TokenTTL, time.Second, 24*time.Hour)
+	c.duration("resume.skew", r.ClockSkew, 0, time.Minute)
+	c.duration("resume.wait", r.ArbiterTimeout, time.Millisecond, 5*time.Second)
+	c.rejectIf(r.ReplayGuard.Records < 1 || r.ReplayGuard.Records > 100_000_000, "resume.ledger.records", r.ReplayGuard.Records, "1 to 100000000")
+	c.rejectIf(r.ReplayGuard.Listen != "" && !isHostPort(r.ReplayGuard.Listen), "resume.ledger.listen", r.ReplayGuard.Listen, "HOST:PORT")
 	for name, addr := range r.ReplayGuard.Peers {
-		c.fault(!isAddress(addr), "resume.ledger.peers."+name, addr, "HOST:PORT")
-		c.fault(!isName(name, 40), "resume.ledger.peers."+name, name, "a node's name of 1 to 40 bytes without blanks")
+		c.rejectIf(!isHostPort(addr), "resume.ledger.peers."+name, addr, "HOST:PORT")
+		c.rejectIf(!isWord(name, 40), "resume.ledger.peers."+name, name, "a node's name of 1 to 40 bytes without blanks")
 	}
 }
 
-func isAddress(s string) bool {
+func isHostPort(s string) bool {
 	_, port, err := net.SplitHostPort(s)
 	return err == nil && port != ""
 }
 
 // isName tells whether s can stand in a line of text as one word.
-func isName(s string, longest int) bool {
+func isWord(s string, longest int) bool {
 	return s != "" && len(s) <= longest && !strings.ContainsAny(s, " \t\r\n")
 }
--- a/internal/operatorconfig/operator_test.go
+++ b/internal/operatorconfig/operator_test.go
@@ -8,7 +8,7 @@
 	"testing"
 )
 
-func TestParse(t *testing.T) {
+func TestErrorNamesKey(t *testing.T) {
 	f, err := Parse([]byte(`{"resume":{"life":"90s"}}`))
 	if err != nil || f.Resume.TokenTTL.Seconds() != 90 || f.Resume.Enabled || f.Log.Level != "info" {
 		t.Errorf("%+v, %v", f, err)
@@ -32,7 +32,7 @@
 }
 
 // Without the helper beside it the node says what to do.
-func TestLoadWithoutHelper(t *testing.T) {
+func TestCUEFileWithoutCoralctlIsError(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "own.cue")
 	if err := os.WriteFile(path, []byte("log: {}"), 0o600); err != nil {
 		t.Fatal(err)
@@ -42,7 +42,7 @@
 	}
 }
 
-func TestFixed(t *testing.T) {
+func TestNamesKeysThatNeedRestart(t *testing.T) {
 	a, b := Default(), Default()
 	b.Log.Level, b.Resume.TokenTTL.Duration = "debug", 1
 	if keys := a.ChangedRestartKeys(&b); keys != nil {
--- a/internal/operatorconfig/replicatedlog.go
+++ b/internal/operatorconfig/replicatedlog.go
@@ -7,7 +7,7 @@
 )
 
 // longestZone bounds a zone's name, so that what a member saw of 12 of them fits a datagram.
-const longestZone = 24
+const maxZoneNameBytes = 24
 
 // Record is the log that all members hold alike. It is on where it has voters.
 type ReplicatedLog struct {
@@ -46,45 +46,45 @@
 	return key, nil
 }
 
-func (r *ReplicatedLog) check(c *checks, l *Fleet) {
+func (r *ReplicatedLog) check(c *checker, l *Fleet) {
 	const key = "fleet.record."
-	c.within(key+"lease", r.Lease, 500*time.Millisecond, time.Minute)
+	c.duration(key+"lease", r.Lease, 500*time.Millisecond, time.Minute)
 	_, err := r.RootKey()
-	c.fault(err != nil, key+"root", r.Root, "what 'coralctl account key' prints for public, or nothing")
-	c.fault(r.Bind != "" && !isIP(r.Bind), key+"bind", r.Bind, "IP:PORT")
-	c.fault(r.Advertise != "" && !isIP(r.Advertise), key+"advertise", r.Advertise, "IP:PORT")
+	c.rejectIf(err != nil, key+"root", r.Root, "what 'coralctl account key' prints for public, or nothing")
+	c.rejectIf(r.Bind != "" && !isIPPort(r.Bind), key+"bind", r.Bind, "IP:PORT")
+	c.rejectIf(r.Advertise != "" && !isIPPort(r.Advertise), key+"advertise", r.Advertise, "IP:PORT")
 	if !r.IsEnabled() {
-		c.fault(r.Dir != "" || r.Bind != "" || r.Advertise != "", key+"voters", "none", "3 or 5, as fleet.record names a folder or an address")
+		c.rejectIf(r.Dir != "" || r.Bind != "" || r.Advertise != "", key+"voters", "none", "3 or 5, as fleet.record names a folder or an address")
 		return
 	}
-	c.fault(l.Agent == "", "fleet.agent", l.Agent, "HOST:PORT, as fleet.record has voters")
-	c.fault(l.Zone == "", "fleet.zone", l.Zone, "this member's zone, as fleet.record has voters")
-	c.fault(r.Dir == "", key+"dir", r.Dir, "a folder, as fleet.record has voters")
-	c.fault(r.Bind == "", key+"bind", r.Bind, "IP:PORT, as fleet.record has voters")
+	c.rejectIf(l.Agent == "", "fleet.agent", l.Agent, "HOST:PORT, as fleet.record has voters")
+	c.rejectIf(l.Zone == "", "fleet.zone", l.Zone, "this member's zone, as fleet.record has voters")
+	c.rejectIf(r.Dir == "", key+"dir", r.Dir, "a folder, as fleet.record has voters")
+	c.rejectIf(r.Bind == "", key+"bind", r.Bind, "IP:PORT, as fleet.record has voters")
 	r.checkVoters(c, l)
 }
 
 // checkVoters holds the voters against one another and against this member.
-func (r *ReplicatedLog) checkVoters(c *checks, l *Fleet) {
+func (r *ReplicatedLog) checkVoters(c *checker, l *Fleet) {
 	const key = "fleet.record.voters"
-	c.fault(len(r.Voters) != 3 && len(r.Voters) != 5, key, len(r.Voters), "3 or 5 voters")
+	c.rejectIf(len(r.Voters) != 3 && len(r.Voters) != 5, key, len(r.Voters), "3 or 5 voters")
 	own := r.AdvertisedAddr()
 	names, addrs, zones := map[string]bool{}, map[string]bool{}, map[string]int{}
 	for _, v := range r.Voters {
-		c.fault(!isName(v.Name, 64), key, v.Name, "names of 1 to 64 bytes without blanks")
-		c.fault(!isIP(v.Addr), key, v.Addr, "addresses IP:PORT")
-		c.fault(!isName(v.Zone, longestZone), key, v.Zone, "zones of 1 to 24 bytes without blanks")
-		c.fault(names[v.Name], key, v.Name, "each name once")
-		c.fault(addrs[v.Addr], key, v.Addr, "each address once")
+		c.rejectIf(!isWord(v.Name, 64), key, v.Name, "names of 1 to 64 bytes without blanks")
+		c.rejectIf(!isIPPort(v.Addr), key, v.Addr, "addresses IP:PORT")
+		c.rejectIf(!isWord(v.Zone, maxZoneNameBytes), key, v.Zone, "zones of 1 to 24 bytes without blanks")
+		c.rejectIf(names[v.Name], key, v.Name, "each name once")
+		c.rejectIf(addrs[v.Addr], key, v.Addr, "each address once")
 		names[v.Name], addrs[v.Addr] = true, true
 		if zones[v.Zone]++; zones[v.Zone] == len(r.Voters)/2+1 {
-			c.fault(len(r.Voters) > 1, key, v.Zone, "voters of which no zone holds a majority: with it the record would stop")
+			c.rejectIf(len(r.Voters) > 1, key, v.Zone, "voters of which no zone holds a majority: with it the record would stop")
 		}
 		if v.Name == l.Name {
-			c.fault(v.Zone != l.Zone, "fleet.zone", l.Zone, "that of this member among fleet.record.voters: "+v.Zone)
-			c.fault(isIP(own) && v.Addr != own, key, v.Addr, "where this member is reached, by fleet.record.bind or advertise: "+own)
+			c.rejectIf(v.Zone != l.Zone, "fleet.zone", l.Zone, "that of this member among fleet.record.voters: "+v.Zone)
+			c.rejectIf(isIPPort(own) && v.Addr != own, key, v.Addr, "where this member is reached, by fleet.record.bind or advertise: "+own)
 		} else {
-			c.fault(v.Addr == own, key, v.Addr, "addresses of their own: this is "+l.Name+"'s")
+			c.rejectIf(v.Addr == own, key, v.Addr, "addresses of their own: this is "+l.Name+"'s")
 		}
 	}
 }
--- a/internal/operatorconfig/schema/schema.go
+++ b/internal/operatorconfig/schema/schema.go
@@ -17,11 +17,11 @@
 )
 
 //go:embed operator.cue
-var text string
+var schemaText string
 
-func schema(ctx *cue.Context) (cue.Value, error) {
+func compileSchema(ctx *cue.Context) (cue.Value, error) {
 	// A definition is closed all the way down: that refuses a misspelt key.
-	v := ctx.CompileString("#File: {\n"+text+"\n}", cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#File"))
+	v := ctx.CompileString("#File: {\n"+schemaText+"\n}", cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#File"))
 	return v, v.Err()
 }
 
@@ -29,35 +29,35 @@
 // name file, line, key, what was found and what is allowed.
 func Export(name string, src []byte) ([]byte, error) {
 	ctx := cuecontext.New()
-	want, err := schema(ctx)
+	definition, err := compileSchema(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("schema: %w", err)
 	}
-	got := ctx.CompileBytes(src, cue.Filename(name))
-	if got.Err() != nil {
-		return nil, explain(name, want, got, got.Err())
+	given := ctx.CompileBytes(src, cue.Filename(name))
+	if given.Err() != nil {
+		return nil, explainErrors(name, definition, given, given.Err())
 	}
-	if lines := unknown(name, want, got, ""); len(lines) > 0 {
+	if lines := unknownKeys(name, definition, given, ""); len(lines) > 0 {
 		return nil, fmt.Errorf("%s", strings.Join(lines, "\n"))
 	}
-	whole := want.Unify(got)
-	if err := whole.Validate(cue.Concrete(true), cue.Final()); err != nil {
-		return nil, explain(name, want, got, err)
+	complete := definition.Unify(given)
+	if err := complete.Validate(cue.Concrete(true), cue.Final()); err != nil {
+		return nil, explainErrors(name, definition, given, err)
 	}
-	raw, err := whole.MarshalJSON()
+	raw, err := complete.MarshalJSON()
 	if err != nil {
-		return nil, explain(name, want, got, err)
+		return nil, explainErrors(name, definition, given, err)
 	}
 	// The node's own check has the last word: both have to agree.
 	if _, err := operatorconfig.Parse(raw); err != nil {
-		return nil, explainFaults(name, got, err)
+		return nil, explainKeyErrors(name, given, err)
 	}
 	return raw, nil
 }
 
 // unknown finds keys that the schema does not have; CUE alone stops at other
 // errors before it tells of them.
-func unknown(name string, want, got cue.Value, path string) (lines []string) {
+func unknownKeys(name string, want, got cue.Value, path string) (lines []string) {
 	fields, err := got.Fields()
 	if err != nil {
 		return nil
@@ -66,11 +66,11 @@
 		key := strings.TrimPrefix(path+"."+fields.Selector().Unquoted(), ".")
 		if !want.Allows(fields.Selector()) {
 			lines = append(lines, fmt.Sprintf("%s: %s: no such key; allowed here: %s",
-				place(name, got, fields.Selector().String(), nil), key, names(want)))
+				position(name, got, fields.Selector().String(), nil), key, keyNames(want)))
 			continue
 		}
 		if next := want.LookupPath(cue.MakePath(fields.Selector())); next.Exists() {
-			lines = append(lines, unknown(name, next, fields.Value(), key)...)
+			lines = append(lines, unknownKeys(name, next, fields.Value(), key)...)
 		}
 	}
 	return lines
@@ -78,7 +78,7 @@
 
 // explain words CUE's errors for an operator: the place in the file, the key, what
 // was found there and what the schema allows.
-func explain(name string, want, got cue.Value, err error) error {
+func explainErrors(name string, want, got cue.Value, err error) error {
 	var lines []string
 	seen := map[string]bool{}
 	for _, e := range errors.Errors(err) {
@@ -87,7 +87,7 @@
 			continue
 		}
 		seen[key] = true
-		line := place(name, got, key, e) + ": "
+		line := position(name, got, key, e) + ": "
 		at := want.LookupPath(cue.ParsePath(key))
 		found := got.LookupPath(cue.ParsePath(key))
 		switch {
@@ -96,24 +96,24 @@
 		case !at.Exists():
 			line += key + ": " + e.Error()
 		default:
-			line += fmt.Sprintf("%s: found %s, allowed is %s", key, value(found), allowed(at))
+			line += fmt.Sprintf("%s: found %s, allowed is %s", key, foundValue(found), allowedValues(at))
 		}
 		lines = append(lines, line)
 	}
 	return fmt.Errorf("%s", strings.Join(lines, "\n"))
 }
 
-func explainFaults(name string, got cue.Value, err error) error {
+func explainKeyErrors(name string, got cue.Value, err error) error {
 	var lines []string
 	for _, l := range strings.Split(err.Error(), "\n") {
 		key, _, _ := strings.Cut(l, ":")
-		lines = append(lines, place(name, got, key, nil)+": "+l)
+		lines = append(lines, position(name, got, key, nil)+": "+l)
 	}
 	return fmt.Errorf("%s", strings.Join(lines, "\n"))
 }
 
 // place is where the file has the key, or the error points to.
-func place(name string, got cue.Value, key string, e errors.Error) string {
+func position(name string, got cue.Value, key string, e errors.Error) string {
 	if v := got.LookupPath(cue.ParsePath(key)); key != "" && v.Exists() && v.Pos().IsValid() {
 		return fmt.Sprintf("%s:%d", name, v.Pos().Line())
 	}
@@ -127,14 +127,14 @@
 	return name
 }
 
-func value(v cue.Value) string {
+func foundValue(v cue.Value) string {
 	if !v.Exists() {
 		return "nothing"
 	}
-	return source(v)
+	return sourceText(v)
 }
 
-func source(v cue.Value) string {
+func sourceText(v cue.Value) string {
 	b, err := format.Node(v.Syntax(cue.Raw()))
 	if err != nil {
 		return fmt.Sprint(v)
@@ -143,24 +143,24 @@
 }
 
 // allowed is the schema's own words for a key, and the comment above it.
-func allowed(v cue.Value) string {
-	s := source(v)
-	if c := comment(v); c != "" {
+func allowedValues(v cue.Value) string {
+	s := sourceText(v)
+	if c := docComment(v); c != "" {
 		s += " (" + c + ")"
 	}
 	return s
 }
 
-func comment(v cue.Value) string {
-	var words []string
+func docComment(v cue.Value) string {
+	var paragraphs []string
 	for _, g := range v.Doc() {
-		words = append(words, strings.TrimSpace(g.Text()))
+		paragraphs = append(paragraphs, strings.TrimSpace(g.Text()))
 	}
-	return strings.Join(words, " ")
+	return strings.Join(paragraphs, " ")
 }
 
 // names lists the keys of a struct.
-func names(v cue.Value) string {
+func keyNames(v cue.Value) string {
 	fields, err := v.Fields(cue.Optional(true))
 	if err != nil {
 		return "none"
@@ -177,7 +177,7 @@
 
 // Keys lists the schema's keys, those below prefix if it is not empty.
 func Keys(prefix string) ([]Key, error) {
-	v, err := schema(cuecontext.New())
+	v, err := compileSchema(cuecontext.New())
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +196,7 @@
 				continue
 			}
 			if strings.HasPrefix(at, prefix) {
-				keys = append(keys, Key{at, source(f), comment(f)})
+				keys = append(keys, Key{at, sourceText(f), docComment(f)})
 			}
 		}
 	}
--- a/internal/operatorconfig/schema/schema_test.go
+++ b/internal/operatorconfig/schema/schema_test.go
@@ -10,7 +10,7 @@
 )
 
 // The schema's defaults are the node's, and the example in deploy has them all.
-func TestDefaultsAgree(t *testing.T) {
+func TestDefaultsAgreeWithNode(t *testing.T) {
 	example, err := os.ReadFile("../../../deploy/operator.cue")
 	if err != nil {
 		t.Fatal(err)
@@ -34,7 +34,7 @@
 }
 
 // An error names file, line, key, what was found and what is allowed.
-func TestErrors(t *testing.T) {
+func TestErrorNamesPlaceKeyAndAllowedValues(t *testing.T) {
 	for src, want := range map[string]string{
 		"log: level: \"loud\"":                          "own.cue:1: log.level: found \"loud\", allowed is \"debug\"",
 		"resume: {\n\tlif: \"3s\"\n}":                   "own.cue:2: resume.lif: no such key; allowed here: enabled, keys",
@@ -52,7 +52,7 @@
 	}
 }
 
-func TestKeys(t *testing.T) {
+func TestListsKeysBelowPrefix(t *testing.T) {
 	keys, err := Keys("resume.ledger")
 	if err != nil || len(keys) != 4 || keys[0].About == "" {
 		t.Errorf("%v, %v", keys, err)
--- a/internal/operatorconfig/slo.go
+++ b/internal/operatorconfig/slo.go
@@ -25,7 +25,7 @@
 	Pace     int      `json:"pace"`     // for rehearsals: all these times, and contracts' windows, pass so many times faster
 }
 
-func defaultPromises() SLO {
+func defaultSLO() SLO {
 	d := slo.DefaultConfig()
 	in := func(t time.Duration) Duration { return Duration{t} }
 	return SLO{Part: in(d.SampleInterval), Parts: d.EvidenceIntervals, Late: in(d.LateSampleTimeout), Cells: d.MaxMeasurements, Z: d.ZScore, Need: d.MinSamples, Period: in(d.MoveInterval),
@@ -39,22 +39,22 @@
 }
 
 // paced is from where a faster clock runs: it has to be the same at all members.
-const paced = time.Duration(1_767_225_600) * time.Second // 2026-01-01
+const scaledTimeOrigin = time.Duration(1_767_225_600) * time.Second // 2026-01-01
 
 // Time is what promises take a Unix time for.
 func (p *SLO) Time(unix time.Duration) time.Duration {
 	if p.Pace <= 1 {
 		return unix
 	}
-	return paced + (unix-paced)*time.Duration(p.Pace)
+	return scaledTimeOrigin + (unix-scaledTimeOrigin)*time.Duration(p.Pace)
 }
 
 // check leaves most of the figures' bounds to package promise.
-func (p *SLO) check(c *checks, l *Fleet) {
+func (p *SLO) check(c *checker, l *Fleet) {
 	const key = "fleet.promises."
-	c.fault(p.Enabled && !l.ReplicatedLog.IsEnabled(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
-	c.fault(p.Pace < 1 || p.Pace > 60, key+"pace", p.Pace, "1 to 60")
+	c.rejectIf(p.Enabled && !l.ReplicatedLog.IsEnabled(), key+"enabled", p.Enabled, "false, as fleet.record has no voters")
+	c.rejectIf(p.Pace < 1 || p.Pace > 60, key+"pace", p.Pace, "1 to 60")
 	if bad := p.Config().InvalidKey(); bad != "" {
-		c.fault(true, key+bad, "a figure that can't be worked with", "what 'coralctl explain fleet.promises."+bad+"' tells")
+		c.rejectIf(true, key+bad, "a figure that can't be worked with", "what 'coralctl explain fleet.promises."+bad+"' tells")
 	}
 }
--- a/internal/operatorconfig/udp.go
+++ b/internal/operatorconfig/udp.go
@@ -57,13 +57,13 @@
 		New: Pace{Rate: 10_000, Burst: 1000}, Again: Pace{Rate: 2000, Burst: 200}}
 }
 
-func (u *UDP) check(c *checks) {
-	c.fault(u.Listen != "" && !isAddress(u.Listen), "udp.listen", u.Listen, "IP:PORT")
+func (u *UDP) check(c *checker) {
+	c.rejectIf(u.Listen != "" && !isHostPort(u.Listen), "udp.listen", u.Listen, "IP:PORT")
 	c.oneOf("udp.mode", u.Mode, "flow", "shared")
 	c.oneOf("udp.policy", u.Policy, "reserve", "refuse", "idle")
-	c.within("udp.idle", u.Idle, 100*time.Millisecond, 24*time.Hour)
-	c.within("udp.after", u.After, 0, time.Hour)
-	c.within("udp.silence.after", u.Silence.After, 0, time.Hour)
+	c.duration("udp.idle", u.Idle, 100*time.Millisecond, 24*time.Hour)
+	c.duration("udp.after", u.After, 0, time.Hour)
+	c.duration("udp.silence.after", u.Silence.After, 0, time.Hour)
 	c.number("udp.flows", float64(u.Flows), 1, 1<<26)
 	c.number("udp.reserve", u.Reserve, 0, 1)
 	c.number("udp.settled", float64(u.Settled), 1, 1<<20)
--- a/internal/operatorconfig/zones.go
+++ b/internal/operatorconfig/zones.go
@@ -53,19 +53,19 @@
 }
 
 // check leaves the figures' bounds to package zone.
-func (z *Zones) check(c *checks, l *Fleet) {
-	c.fault(z.Enabled && !l.ReplicatedLog.IsEnabled(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
+func (z *Zones) check(c *checker, l *Fleet) {
+	c.rejectIf(z.Enabled && !l.ReplicatedLog.IsEnabled(), "fleet.zones.enabled", z.Enabled, "false, as fleet.record has no voters")
 	if err := z.Config().Validate(); err != nil {
-		c.faults = append(c.faults, err)
+		c.errs = append(c.errs, err)
 	}
 	named := func(key string, zones []string) {
 		for _, zone := range zones {
-			c.fault(!isName(zone, longestZone), key, zone, "zones of 1 to 24 bytes without blanks")
+			c.rejectIf(!isWord(zone, maxZoneNameBytes), key, zone, "zones of 1 to 24 bytes without blanks")
 		}
 	}
 	named("fleet.zones.zones", z.Zones)
 	for region, zones := range z.Regions {
 		named("fleet.zones.regions."+region, zones)
 	}
-	c.fault(z.Enabled && len(z.Zones) > 0 && !slices.Contains(z.Zones, l.Zone), "fleet.zone", l.Zone, "one of fleet.zones.zones")
+	c.rejectIf(z.Enabled && len(z.Zones) > 0 && !slices.Contains(z.Zones, l.Zone), "fleet.zone", l.Zone, "one of fleet.zones.zones")
 }
