--- a/internal/operatorconfig/accounts.go
+++ b/internal/operatorconfig/accounts.go
@@ -6,17 +6,22 @@
 	"coralrelay/internal/fleet/account"
 )
 
-// mostMembers is how many there may be.
+// maxMembers bounds the size of a fleet.
 const maxMembers = 1024
 
-// Accounts is how the limits of accounts are dealt over the members. All have it alike.
+// Accounts configures how the limits of accounts are allocated to the members. It must be
+// the same at all of them.
 type Accounts struct {
-	Members int `json:"members"` // when all are well; 0 where nobody says
+	Members int `json:"members"` // of a complete fleet; 0 if not known
 }
 
-// Deal is what package account takes.
+// AllocationConfig returns the configuration for package account.
 func (l *Fleet) AllocationConfig() account.LeaseConfig {
-	return account.LeaseConfig{Epoch: l.Epoch.Duration, HolderTimeout: l.Hold.Duration, FleetSize: l.Accounts.Members}
+	return account.LeaseConfig{
+		Epoch:         l.Epoch.Duration,
+		HolderTimeout: l.Hold.Duration,
+		FleetSize:     l.Accounts.Members,
+	}
 }
 
 func (a *Accounts) check(c *checker, l *Fleet) {
--- a/internal/operatorconfig/fleet.go
+++ b/internal/operatorconfig/fleet.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// Fleet is what nodes share with one another, through the agent beside each (coralagent).
+// Fleet configures what nodes share through the agent beside each (coralagent).
 type Fleet struct {
 	Agent         string        `json:"agent"`     // where the agent answers its node; empty for off
-	Name          string        `json:"name"`      // of the member; others must not have it
+	Name          string        `json:"name"`      // of the member, unique
 	Bind          string        `json:"bind"`      // IP:PORT for gossip, TCP and UDP
 	Advertise     string        `json:"advertise"` // where the others reach it, if elsewhere
-	Peers         []string      `json:"peers"`     // some other members
+	Peers         []string      `json:"peers"`     // addresses of some other members
 	Key           string        `json:"key"`       // file with the key that all members have
 	Interval      Duration      `json:"interval"`  // of gossip
-	Epoch         Duration      `json:"epoch"`     // a cold next hop's window, as the settings' tipAfter
-	Hold          Duration      `json:"hold"`      // who is silent keeps his part for so long
-	Fresh         Duration      `json:"fresh"`     // accusations and retry counts count for so long
-	Retries       float64       `json:"retries"`   // allowed for each first try
-	Shun          float64       `json:"shun"`      // share of next hops that verdicts cover at most
-	Zone          string        `json:"zone"`      // where this member stands; empty for nowhere
+	Epoch         Duration      `json:"epoch"`     // the quota period of a cold endpoint, as the settings' tipAfter
+	Hold          Duration      `json:"hold"`      // a silent member keeps its part of the quota so long
+	Fresh         Duration      `json:"fresh"`     // outlier reports and retry counts are valid so long
+	Retries       float64       `json:"retries"`   // allowed for each first attempt
+	Shun          float64       `json:"shun"`      // share of endpoints that are ejected at most
+	Zone          string        `json:"zone"`      // of this member; empty for none
 	ReplicatedLog ReplicatedLog `json:"record"`
 	Zones         Zones         `json:"zones"`
 	Accounts      Accounts      `json:"accounts"`
@@ -27,9 +27,18 @@
 }
 
 func defaultFleet() Fleet {
-	return Fleet{Peers: []string{}, Interval: Duration{100 * time.Millisecond}, Epoch: Duration{1500 * time.Millisecond},
-		Hold: Duration{30 * time.Second}, Fresh: Duration{3 * time.Second}, Retries: 0.2, Shun: 0.25,
-		ReplicatedLog: ReplicatedLog{Voters: []Voter{}, Lease: Duration{2 * time.Second}}, Zones: defaultZones(), SLO: defaultSLO()}
+	return Fleet{
+		Peers:         []string{},
+		Interval:      Duration{100 * time.Millisecond},
+		Epoch:         Duration{1500 * time.Millisecond},
+		Hold:          Duration{30 * time.Second},
+		Fresh:         Duration{3 * time.Second},
+		Retries:       0.2,
+		Shun:          0.25,
+		ReplicatedLog: ReplicatedLog{Voters: []Voter{}, Lease: Duration{2 * time.Second}},
+		Zones:         defaultZones(),
+		SLO:           defaultSLO(),
+	}
 }
 
 func isIPPort(s string) bool {
--- a/internal/operatorconfig/load.go
+++ b/internal/operatorconfig/load.go
@@ -15,11 +15,11 @@
 	"time"
 )
 
-// largest bounds the file, in bytes.
+// maxFileBytes bounds the file.
 const maxFileBytes = 1 << 20
 
-// Load reads and checks the file at path. JSON is read here; for a CUE file
-// coralctl beside this program is started, which ends before Load returns.
+// Load reads and checks the file at path. JSON is read here; for a CUE file coralctl beside
+// this program is started, which ends before Load returns.
 func Load(path string) (File, error) {
 	raw, err := readFile(path)
 	if err != nil {
@@ -50,7 +50,8 @@
 	return raw, err
 }
 
-// Parse reads and checks JSON; what it does not name has its default.
+// Parse decodes and checks JSON. Keys that it does not have keep their defaults; an unknown
+// key is an error.
 func Parse(raw []byte) (File, error) {
 	f := Default()
 	d := json.NewDecoder(bytes.NewReader(raw))
@@ -68,11 +69,11 @@
 	return f, f.Check()
 }
 
-// exporting bounds the helper that reads CUE.
+// exportTimeout bounds the run of the helper that reads CUE.
 const exportTimeout = 20 * time.Second
 
-// export has coralctl turn a CUE file into JSON. CUE is heavy; the helper is gone
-// before the node serves.
+// exportCUE runs coralctl to turn a CUE file into JSON. CUE takes megabytes; the helper has
+// ended before the node serves.
 func exportCUE(path string) ([]byte, error) {
 	self, err := os.Executable()
 	if err != nil {
@@ -96,7 +97,8 @@
 	return out.Bytes(), nil
 }
 
-// Fixed names the keys that differ between f and next and need a restart.
+// ChangedRestartKeys returns the keys that differ between f and next and need a restart,
+// sorted.
 func (f *File) ChangedRestartKeys(next *File) (keys []string) {
 	for key, same := range map[string]bool{
 		"log.format": f.Log.Format == next.Log.Format, "resume.enabled": f.Resume.Enabled == next.Resume.Enabled,
--- a/internal/operatorconfig/replicatedlog.go
+++ b/internal/operatorconfig/replicatedlog.go
@@ -6,30 +6,30 @@
 	"time"
 )
 
-// longestZone bounds a zone's name, so that what a member saw of 12 of them fits a datagram.
+// maxZoneNameBytes bounds a zone's name, so that observations of 12 of them fit a datagram.
 const maxZoneNameBytes = 24
 
-// Record is the log that all members hold alike. It is on where it has voters.
+// ReplicatedLog configures the log that all members hold alike. It is on if it has voters.
 type ReplicatedLog struct {
 	Dir       string   `json:"dir"`       // folder; of this member alone
 	Bind      string   `json:"bind"`      // IP:PORT, TCP
 	Advertise string   `json:"advertise"` // where the others reach it, if elsewhere
 	Voters    []Voter  `json:"voters"`    // the same at all members: 3 or 5, or none for off
-	Lease     Duration `json:"lease"`     // who has heard from nobody for so long acts on its own
-	Root      string   `json:"root"`      // public key of who may found accounts, in base64; empty for nobody
+	Lease     Duration `json:"lease"`     // a member that has heard no leader for so long acts on its own
+	Root      string   `json:"root"`      // base64 of the public key that may create accounts; empty for none
 }
 
-// Voter is a member that decides what the record takes.
+// Voter is a member that votes on the log.
 type Voter struct {
 	Name string `json:"name"`
-	Addr string `json:"addr"` // where the others reach its record
+	Addr string `json:"addr"` // where the others reach its log
 	Zone string `json:"zone"`
 }
 
-// On tells whether this member keeps the record.
+// IsEnabled reports whether this member keeps the log.
 func (r *ReplicatedLog) IsEnabled() bool { return len(r.Voters) > 0 }
 
-// Reached is where the others reach this member's record.
+// AdvertisedAddr returns the address where the others reach this member's log.
 func (r *ReplicatedLog) AdvertisedAddr() string {
 	if r.Advertise != "" {
 		return r.Advertise
@@ -37,7 +37,7 @@
 	return r.Bind
 }
 
-// RootKey is the root key's bytes, none for nobody's.
+// RootKey returns the bytes of the root key, none if there is no key.
 func (r *ReplicatedLog) RootKey() ([]byte, error) {
 	key, err := base64.StdEncoding.DecodeString(r.Root)
 	if err != nil || len(key) != 0 && len(key) != 32 {
@@ -64,7 +64,7 @@
 	r.checkVoters(c, l)
 }
 
-// checkVoters holds the voters against one another and against this member.
+// checkVoters checks the voters against one another and against this member.
 func (r *ReplicatedLog) checkVoters(c *checker, l *Fleet) {
 	const key = "fleet.record.voters"
 	c.rejectIf(len(r.Voters) != 3 && len(r.Voters) != 5, key, len(r.Voters), "3 or 5 voters")
--- a/internal/operatorconfig/schema/schema.go
+++ b/internal/operatorconfig/schema/schema.go
@@ -1,5 +1,6 @@
-// Package schema holds the operator's file as typed CUE records, and explains
-// them. Only programs for people link it: CUE takes megabytes.
+// Package schema is the operator's file as a schema in CUE: it exports files to JSON and
+// explains keys. Only coralctl links it, since CUE takes megabytes. It starts no goroutine;
+// its errors name file, line, key, the value found and the values allowed.
 package schema
 
 import (
@@ -19,14 +20,14 @@
 //go:embed operator.cue
 var schemaText string
 
+// compileSchema returns the schema as a closed definition.
 func compileSchema(ctx *cue.Context) (cue.Value, error) {
 	// A definition is closed all the way down: that refuses a misspelt key.
 	v := ctx.CompileString("#File: {\n"+schemaText+"\n}", cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#File"))
 	return v, v.Err()
 }
 
-// Export returns the file at name, whose text is src, as complete JSON. Errors
-// name file, line, key, what was found and what is allowed.
+// Export returns the file at name, whose text is src, as complete JSON.
 func Export(name string, src []byte) ([]byte, error) {
 	ctx := cuecontext.New()
 	definition, err := compileSchema(ctx)
@@ -48,15 +49,15 @@
 	if err != nil {
 		return nil, explainErrors(name, definition, given, err)
 	}
-	// The node's own check has the last word: both have to agree.
+	// The node's own check decides: both have to agree.
 	if _, err := operatorconfig.Parse(raw); err != nil {
 		return nil, explainKeyErrors(name, given, err)
 	}
 	return raw, nil
 }
 
-// unknown finds keys that the schema does not have; CUE alone stops at other
-// errors before it tells of them.
+// unknownKeys returns a line for each key that the schema does not have; CUE alone stops at
+// other errors before it reports them.
 func unknownKeys(name string, want, got cue.Value, path string) (lines []string) {
 	fields, err := got.Fields()
 	if err != nil {
@@ -76,8 +77,8 @@
 	return lines
 }
 
-// explain words CUE's errors for an operator: the place in the file, the key, what
-// was found there and what the schema allows.
+// explainErrors rewrites CUE's errors for an operator: the place in the file, the key, the
+// value found there and what the schema allows.
 func explainErrors(name string, want, got cue.Value, err error) error {
 	var lines []string
 	seen := map[string]bool{}
@@ -103,6 +104,7 @@
 	return fmt.Errorf("%s", strings.Join(lines, "\n"))
 }
 
+// explainKeyErrors adds the place in the file to the errors of the node's own check.
 func explainKeyErrors(name string, got cue.Value, err error) error {
 	var lines []string
 	for _, l := range strings.Split(err.Error(), "\n") {
@@ -112,7 +114,7 @@
 	return fmt.Errorf("%s", strings.Join(lines, "\n"))
 }
 
-// place is where the file has the key, or the error points to.
+// position returns where the file has the key, or else where the error points to.
 func position(name string, got cue.Value, key string, e errors.Error) string {
 	if v := got.LookupPath(cue.ParsePath(key)); key != "" && v.Exists() && v.Pos().IsValid() {
 		return fmt.Sprintf("%s:%d", name, v.Pos().Line())
@@ -142,7 +144,7 @@
 	return strings.Join(strings.Fields(string(b)), " ")
 }
 
-// allowed is the schema's own words for a key, and the comment above it.
+// allowedValues returns the schema's text for a key, and the comment above it.
 func allowedValues(v cue.Value) string {
 	s := sourceText(v)
 	if c := docComment(v); c != "" {
@@ -159,7 +161,7 @@
 	return strings.Join(paragraphs, " ")
 }
 
-// names lists the keys of a struct.
+// keyNames lists the keys of a struct.
 func keyNames(v cue.Value) string {
 	fields, err := v.Fields(cue.Optional(true))
 	if err != nil {
@@ -172,10 +174,14 @@
 	return strings.Join(list, ", ")
 }
 
-// Key is one key of the schema, for people.
-type Key struct{ Name, Type, About string }
+// Key describes one key of the schema.
+type Key struct {
+	Name  string // as log.level
+	Type  string // in CUE
+	About string // the comment above it
+}
 
-// Keys lists the schema's keys, those below prefix if it is not empty.
+// Keys returns the schema's keys that begin with prefix; none is an error.
 func Keys(prefix string) ([]Key, error) {
 	v, err := compileSchema(cuecontext.New())
 	if err != nil {
--- a/internal/operatorconfig/udp.go
+++ b/internal/operatorconfig/udp.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// UDP is forwarding of flows of datagrams.
+// UDP configures the forwarding of flows of datagrams.
 type UDP struct {
 	Listen  string   `json:"listen"`  // one address; empty for off
 	Class   string   `json:"class"`   // of the settings' classes; empty for the first
@@ -12,8 +12,8 @@
 	Reserve float64  `json:"reserve"` // share of the table for settled flows alone
 	Settled int      `json:"settled"` // a flow has settled after so many datagrams
 	After   Duration `json:"after"`   // over at least so long
-	Mode    string   `json:"mode"`    // flow: a socket for each flow; shared: one for each next hop
-	Sockets int      `json:"sockets"` // to next hops at once; taken from limits.sockets
+	Mode    string   `json:"mode"`    // flow: a socket for each flow; shared: one for each endpoint
+	Sockets int      `json:"sockets"` // to endpoints at once; taken from limits.sockets
 	Proxy   bool     `json:"proxy"`   // a PROXY v2 header before each datagram
 	Queue   Queue    `json:"queue"`
 	Sources Sources  `json:"sources"`
@@ -30,11 +30,11 @@
 	AllBytes  int `json:"all_bytes"`
 }
 
-// Silence says when a next hop of flows counts as silent.
+// Silence says when an endpoint of flows counts as silent.
 type Silence struct {
-	After     Duration `json:"after"`     // nothing was heard of it; 0 for never
-	Datagrams int      `json:"datagrams"` // unanswered, where it used to answer
-	Echo      string   `json:"echo"`      // a datagram that next hops answer; empty for their probes
+	After     Duration `json:"after"`     // without any datagram from it; 0 for never
+	Datagrams int      `json:"datagrams"` // unanswered, if it used to answer
+	Echo      string   `json:"echo"`      // a datagram that endpoints answer; empty to use their probes
 }
 
 // Sources bounds new flows of one source.
@@ -44,17 +44,29 @@
 	Slots int     `json:"slots"` // of the structure that counts them
 }
 
-// Pace bounds placements: of new flows, and of those that have lost their next hop.
+// Pace bounds the rate of placements: of new flows, and of those that have lost their
+// endpoint.
 type Pace struct {
 	Rate  float64 `json:"rate"` // a second
 	Burst float64 `json:"burst"`
 }
 
 func defaultUDP() UDP {
-	return UDP{Flows: 10_000, Idle: Duration{30 * time.Second}, Policy: "reserve", Reserve: 0.5, Settled: 3,
-		After: Duration{time.Second}, Mode: "flow", Sockets: 256, Queue: Queue{8, 16 << 10, 4096, 4 << 20},
-		Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16}, Silence: Silence{After: Duration{3 * time.Second}, Datagrams: 20},
-		New: Pace{Rate: 10_000, Burst: 1000}, Again: Pace{Rate: 2000, Burst: 200}}
+	return UDP{
+		Flows:   10_000,
+		Idle:    Duration{30 * time.Second},
+		Policy:  "reserve",
+		Reserve: 0.5,
+		Settled: 3,
+		After:   Duration{time.Second},
+		Mode:    "flow",
+		Sockets: 256,
+		Queue:   Queue{8, 16 << 10, 4096, 4 << 20},
+		Sources: Sources{Rate: 100, Burst: 200, Slots: 1 << 16},
+		Silence: Silence{After: Duration{3 * time.Second}, Datagrams: 20},
+		New:     Pace{Rate: 10_000, Burst: 1000},
+		Again:   Pace{Rate: 2000, Burst: 200},
+	}
 }
 
 func (u *UDP) check(c *checker) {
