--- a/cmd/simadapter/main.go
+++ b/cmd/simadapter/main.go
@@ -89,7 +89,7 @@
 	}
 	b, known := a.instances[d.Instance]
 	if !known {
-		return fmt.Errorf("batch %d: %s for instance %d, which was never started", batch.Round, d.Cmd, d.Instance)
+		return fmt.Errorf("batch %d: %s for instance %d, which was never started", batch.Round, d.Command, d.Instance)
 	}
 	if b == nil {
 		return nil
@@ -122,7 +122,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			a.reply = simproto.AppendError(a.reply, d.Instance, fmt.Sprint(p))
-			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Cmd, p, debug.Stack())
+			fmt.Fprintf(os.Stderr, "simadapter: batch %d: %s: %v\n%s", batch.Round, d.Command, p, debug.Stack())
 		}
 	}()
 	a.actions = b.Handle(batch.Now, d.Event, a.actions[:0])
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -1,7 +1,5 @@
 package config
 
-// What no node can serve by.
-
 import (
 	"encoding/json"
 	"errors"
@@ -10,9 +8,10 @@
 	"coralrelay/balance"
 )
 
-// checkSettings names the first of the settings that a node can't serve by.
+// checkSettings returns an error for the first of the settings that no node can serve with;
+// its text begins with the key below settings.
 func checkSettings(raw json.RawMessage, s *balance.Settings) error {
-	// As they were written: beyond some size they are no durations any more.
+	// As they were written: beyond some size they do not fit a duration.
 	var given struct {
 		Classes []struct {
 			Deadline float64 `json:"deadline"`
@@ -24,8 +23,8 @@
 	if err := json.Unmarshal(raw, &given); err != nil {
 		return fmt.Errorf("limits: %w", err)
 	}
-	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > mostTries) {
-		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, mostTries)
+	if n := given.Limits.MostTries; n != nil && (*n < 1 || *n > maxAttemptsLimit) {
+		return fmt.Errorf("limits.mostTries: %v is not within 1 to %v", *n, maxAttemptsLimit)
 	}
 	if len(s.Classes) == 0 {
 		return errors.New("classes: missing")
@@ -38,8 +37,8 @@
 			return fmt.Errorf("%s.name: missing", at)
 		case names[class.Name]:
 			return fmt.Errorf("%s.name: %q stands there twice", at, class.Name)
-		case class.Deadline <= 0 || given.Classes[i].Deadline > longestDeadline:
-			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, longestDeadline)
+		case class.Deadline <= 0 || given.Classes[i].Deadline > maxDeadlineSeconds:
+			return fmt.Errorf("%s.deadline: %v is not above 0 and at most %v", at, given.Classes[i].Deadline, maxDeadlineSeconds)
 		}
 		names[class.Name] = true
 	}
@@ -49,7 +48,8 @@
 	return nil
 }
 
-func (f *file) limits() (Limits, error) {
+// limits returns the limits of the file, with defaults for those that it lacks.
+func (f *document) limits() (Limits, error) {
 	l := Limits{Cores: defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets}
 	if v := f.Limits.Cores; v != nil {
 		l.Cores = *v
@@ -63,10 +63,10 @@
 	switch {
 	case l.Cores <= 0:
 		return l, fmt.Errorf("limits.cores: %v is not above 0", l.Cores)
-	case l.MemoryMB < leastMemoryMB:
-		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, leastMemoryMB)
-	case l.Sockets < leastSockets:
-		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, leastSockets)
+	case l.MemoryMB < minMemoryMB:
+		return l, fmt.Errorf("limits.memory_mb: %d is under %d", l.MemoryMB, minMemoryMB)
+	case l.Sockets < minSockets:
+		return l, fmt.Errorf("limits.sockets: %d is under %d", l.Sockets, minSockets)
 	}
 	return l, nil
 }
