--- a/internal/fleet/account/deal.go
+++ b/internal/fleet/account/allocate.go
@@ -28,8 +28,8 @@
 func Allocate(now time.Duration, cfg LeaseConfig, state State, reports []Usage, holders []string, self string) QuotaLease {
 	ownUsage := Usage{}
 	latest := map[string]*Usage{}
-	for kind := range reports {
-		usage := &reports[kind]
+	for i := range reports {
+		usage := &reports[i]
 		if previous := latest[usage.Member]; usage.IsValid() && (previous == nil || cmp.Or(cmp.Compare(usage.HalfEpoch, previous.HalfEpoch), cmp.Compare(usage.ReportedAt, previous.ReportedAt)) > 0) {
 			latest[usage.Member] = usage
 		}
@@ -80,9 +80,9 @@
 	shares := make(map[string]Amounts, len(s.Nodes)+len(s.Routes))
 	put := func(path string, limits Limits) {
 		values := Amounts{limits.Connections, limits.SetupRate, limits.RetryRate, limits.ProbeRate}.values()
-		for i, value := range values {
-			if values[i] = -1; value >= 0 {
-				values[i] = value / float64(count)
+		for kind, value := range values {
+			if values[kind] = -1; value >= 0 {
+				values[kind] = value / float64(count)
 			}
 		}
 		shares[path] = amountsOf(values)
@@ -90,8 +90,8 @@
 	for path, node := range s.Nodes {
 		put(path, node.Limits)
 	}
-	for path, r := range s.Routes {
-		put(path, r.Limits)
+	for path, route := range s.Routes {
+		put(path, route.Limits)
 	}
 	return shares
 }
@@ -117,8 +117,8 @@
 
 // hear sums what the holders say to have spent in the first half. None counts for more than
 // he had, so that a false word takes nothing from others.
-func (t *allocator) sumReported(s State, holders []string, latest map[string]*Usage) {
-	firstHalf, end := t.halfEpoch-1, time.Duration(t.halfEpoch)*(t.cfg.Epoch/2)
+func (a *allocator) sumReported(s State, holders []string, latest map[string]*Usage) {
+	firstHalf, end := a.halfEpoch-1, time.Duration(a.halfEpoch)*(a.cfg.Epoch/2)
 	count := len(holders)
 	for _, name := range holders {
 		var spent map[string]Amounts
@@ -127,7 +127,7 @@
 			spent, reported = usage.spentIn(firstHalf, end)
 		}
 		if !reported {
-			t.unreported = append(t.unreported, name)
+			a.unreported = append(a.unreported, name)
 			continue
 		}
 		for path, amounts := range spent {
@@ -135,29 +135,29 @@
 			if !ok {
 				continue
 			}
-			sum, thousandths := t.spentFirstHalf[path], limits.thousandths()
+			sum, thousandths := a.spentFirstHalf[path], limits.thousandths()
 			for kind, amount := range amounts.values() {
 				if kind > 0 && amount > 0 && thousandths[kind] >= 0 {
-					allotted := shareOf(t.cfg.epochTokens(path, kind, thousandths[kind], t.halfEpoch/2), rotateRank(t.firstHalfRanks[name], path, kind, firstHalf, count), count)
+					allotted := shareOf(a.cfg.epochTokens(path, kind, thousandths[kind], a.halfEpoch/2), rotateRank(a.firstHalfRanks[name], path, kind, firstHalf, count), count)
 					sum[kind] += min(ceilToken(amount), allotted)
 				}
 			}
-			t.spentFirstHalf[path] = sum
+			a.spentFirstHalf[path] = sum
 		}
 	}
 }
 
 // tokens returns this member's of one figure in this half.
-func (t *allocator) halfTokens(path string, kind int, limit int64) int64 {
-	count, remaining := len(t.ranks), t.cfg.epochTokens(path, kind, limit, t.halfEpoch/2)
-	if t.halfEpoch%2 == 1 {
+func (a *allocator) halfTokens(path string, kind int, limit int64) int64 {
+	count, remaining := len(a.ranks), a.cfg.epochTokens(path, kind, limit, a.halfEpoch/2)
+	if a.halfEpoch%2 == 1 {
 		total := remaining
-		remaining -= t.spentFirstHalf[path][kind]
-		for _, name := range t.unreported {
-			remaining -= shareOf(total, rotateRank(t.firstHalfRanks[name], path, kind, t.halfEpoch-1, count), count)
+		remaining -= a.spentFirstHalf[path][kind]
+		for _, name := range a.unreported {
+			remaining -= shareOf(total, rotateRank(a.firstHalfRanks[name], path, kind, a.halfEpoch-1, count), count)
 		}
 	}
-	return shareOf(max(remaining, 0), rotateRank(t.ranks[t.self], path, kind, t.halfEpoch, count), count)
+	return shareOf(max(remaining, 0), rotateRank(a.ranks[a.self], path, kind, a.halfEpoch, count), count)
 }
 
 func hash(text string, a, b uint64) uint64 {
--- a/internal/fleet/account/fill.go
+++ b/internal/fleet/account/distribute.go
@@ -20,13 +20,13 @@
 // fill takes what a member was dealt of each limit down the tree. A child's right is what
 // progressive filling of its parent's gives it for what this member wants (max-min fair),
 // and all that no child wants, which is anybody's: the parent's count bounds it.
-func (s State) distribute(ownUsage Usage, allot func(path string, i int, limit int64) int64) map[string]Amounts {
+func (s State) distribute(ownUsage Usage, allot func(path string, kind int, limit int64) int64) map[string]Amounts {
 	childrenOf := map[string][]string{}
 	for path := range s.Nodes {
 		childrenOf[parent(path)] = append(childrenOf[parent(path)], path)
 	}
-	for path, r := range s.Routes {
-		childrenOf[r.Owner] = append(childrenOf[r.Owner], path)
+	for path, route := range s.Routes {
+		childrenOf[route.Owner] = append(childrenOf[route.Owner], path)
 	}
 	demand := ownUsage.Demand
 	if s.DisabledChecks.LendingRecall {
@@ -38,19 +38,19 @@
 		names := childrenOf[parentPath]
 		slices.Sort(names) // who has less of what can't be divided does not hang on the map
 		caps, demands := make([]int64, len(names)), make([]int64, len(names))
-		for i := range available {
-			for k, name := range names {
+		for kind := range available {
+			for i, name := range names {
 				limits, _ := s.limitsAt(name)
-				caps[k] = available[i]
-				if limit := limits.thousandths()[i]; limit >= 0 {
-					caps[k] = allot(name, i, limit)
+				caps[i] = available[kind]
+				if limit := limits.thousandths()[kind]; limit >= 0 {
+					caps[i] = allot(name, kind, limit)
 				}
-				demands[k] = ceilToken(demand[name].values()[i])
+				demands[i] = ceilToken(demand[name].values()[kind])
 			}
-			fillMaxMin(available[i], caps, demands)
-			for k, name := range names {
+			fillMaxMin(available[kind], caps, demands)
+			for i, name := range names {
 				amounts := allocated[name]
-				amounts[i] = caps[k]
+				amounts[kind] = caps[i]
 				allocated[name] = amounts
 			}
 		}
@@ -64,8 +64,8 @@
 	result := make(map[string]Amounts, len(allocated))
 	for path, amounts := range allocated {
 		var values [amountKinds]float64
-		for i, amount := range amounts {
-			values[i] = float64(amount)
+		for kind, amount := range amounts {
+			values[kind] = float64(amount)
 		}
 		result[path] = amountsOf(values)
 	}
@@ -80,17 +80,17 @@
 		return
 	}
 	order := make([]int, len(caps))
-	for k := range caps {
-		order[k] = k
-		demands[k] = min(demands[k], caps[k])
+	for i := range caps {
+		order[i] = i
+		demands[i] = min(demands[i], caps[i])
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(demands[a], demands[b]) })
 	remaining := available
-	for served, k := range order {
-		demands[k] = min(demands[k], remaining/int64(len(order)-served))
-		remaining -= demands[k]
+	for served, i := range order {
+		demands[i] = min(demands[i], remaining/int64(len(order)-served))
+		remaining -= demands[i]
 	}
-	for k := range caps {
-		caps[k] = min(caps[k], demands[k]+remaining)
+	for i := range caps {
+		caps[i] = min(caps[i], demands[i]+remaining)
 	}
 }
--- a/internal/fleet/account/limits.go
+++ b/internal/fleet/account/limits.go
@@ -18,30 +18,30 @@
 )
 
 // thousandths returns the figures; one without a bound is negative.
-func (l Limits) thousandths() (f [6]int64) {
-	for i, x := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
-		f[i] = -1
-		if x >= 0 {
-			f[i] = int64(math.Round(x * thousand))
+func (l Limits) thousandths() (thousandths [6]int64) {
+	for kind, value := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
+		thousandths[kind] = -1
+		if value >= 0 {
+			thousandths[kind] = int64(math.Round(value * thousand))
 		}
 	}
-	return f
+	return thousandths
 }
 
 func limitsFromThousandths(thousandths [6]int64) Limits {
 	var values [6]float64
-	for i := range thousandths {
-		if values[i] = -1; thousandths[i] >= 0 {
-			values[i] = float64(thousandths[i]) / thousand
+	for kind := range thousandths {
+		if values[kind] = -1; thousandths[kind] >= 0 {
+			values[kind] = float64(thousandths[kind]) / thousand
 		}
 	}
 	return Limits{Connections: values[0], SetupRate: values[1], RetryRate: values[2], ProbeRate: values[3], Routes: int(values[4]), Teams: int(values[5])}
 }
 
 func (l Limits) validate() error {
-	for i, x := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
-		if !(x <= maxLimit && x >= -maxLimit) {
-			return fmt.Errorf("%s %v: want at most %v, or a negative figure for no bound", limitNames[i], x, maxLimit)
+	for kind, value := range [6]float64{l.Connections, l.SetupRate, l.RetryRate, l.ProbeRate, float64(l.Routes), float64(l.Teams)} {
+		if !(value <= maxLimit && value >= -maxLimit) {
+			return fmt.Errorf("%s %v: want at most %v, or a negative figure for no bound", limitNames[kind], value, maxLimit)
 		}
 	}
 	return nil
@@ -50,13 +50,13 @@
 // allowed returns what the children of a node may hold together; negative where it has no
 // bound.
 func (n *Node) childAllowance() [6]int64 {
-	f, over := n.Limits.thousandths(), int64(math.Round(max(n.Overcommit, 1)*thousand))
-	for i := range f {
-		if f[i] >= 0 {
-			f[i] = mulDiv(f[i], over, thousand)
+	allowance, overcommit := n.Limits.thousandths(), int64(math.Round(max(n.Overcommit, 1)*thousand))
+	for kind := range allowance {
+		if allowance[kind] >= 0 {
+			allowance[kind] = mulDiv(allowance[kind], overcommit, thousand)
 		}
 	}
-	return f
+	return allowance
 }
 
 // times returns a * b / c, rounded down; the quotient must fit.
@@ -79,12 +79,12 @@
 	for path := range nodes {
 		all[path] = &subtreeTotals{}
 	}
-	add := func(parentPath, name string, limits Limits, kinds, countKind int) {
+	add := func(parentPath, name string, limits Limits, kindCount, countKind int) {
 		if totals := all[parentPath]; totals != nil {
 			thousandths := limits.thousandths()
-			for i := range kinds {
-				if totals.sum[i] += max(thousandths[i], 0); thousandths[i] < 0 && kinds > amountKinds && (totals.unbounded[i] == "" || name < totals.unbounded[i]) {
-					totals.unbounded[i] = name
+			for kind := range kindCount {
+				if totals.sum[kind] += max(thousandths[kind], 0); thousandths[kind] < 0 && kindCount > amountKinds && (totals.unbounded[kind] == "" || name < totals.unbounded[kind]) {
+					totals.unbounded[kind] = name
 				}
 			}
 			totals.sum[countKind] += thousand
@@ -114,16 +114,16 @@
 			continue
 		}
 		limit, allowed := node.Limits.thousandths(), node.childAllowance()
-		for i, name := range limitNames {
+		for kind, name := range limitNames {
 			switch {
-			case allowed[i] < 0:
-			case totals.unbounded[i] != "":
-				return fmt.Errorf("%q has no bound of %s, %q above it has", totals.unbounded[i], name, path)
-			case totals.sum[i] > allowed[i]:
+			case allowed[kind] < 0:
+			case totals.unbounded[kind] != "":
+				return fmt.Errorf("%q has no bound of %s, %q above it has", totals.unbounded[kind], name, path)
+			case totals.sum[kind] > allowed[kind]:
 				return fmt.Errorf("%q: its teams and routes would hold %s %v, at most %v are allowed (limit %v, overcommit %v)", path, name,
-					float64(totals.sum[i])/thousand, float64(allowed[i])/thousand, float64(limit[i])/thousand, max(node.Overcommit, 1))
-			case totals.subtreeCount[i] > limit[i]:
-				return fmt.Errorf("%q: %d %s in all, at most %d are allowed", path, totals.subtreeCount[i]/thousand, name, limit[i]/thousand)
+					float64(totals.sum[kind])/thousand, float64(allowed[kind])/thousand, float64(limit[kind])/thousand, max(node.Overcommit, 1))
+			case totals.subtreeCount[kind] > limit[kind]:
+				return fmt.Errorf("%q: %d %s in all, at most %d are allowed", path, totals.subtreeCount[kind]/thousand, name, limit[kind]/thousand)
 			}
 		}
 	}
--- a/internal/fleet/account/shrink.go
+++ b/internal/fleet/account/shrink.go
@@ -56,13 +56,13 @@
 			continue
 		}
 		var holders []*child
-		for k := range children {
-			c := &children[k]
-			if kind == amountKinds && !c.isTeam || kind > amountKinds && c.isTeam {
+		for i := range children {
+			child := &children[i]
+			if kind == amountKinds && !child.isTeam || kind > amountKinds && child.isTeam {
 				allowance -= thousand // its own routes and teams
 			}
-			if c.isTeam || kind < amountKinds && c.thousandths[kind] >= 0 {
-				holders = append(holders, c)
+			if child.isTeam || kind < amountKinds && child.thousandths[kind] >= 0 {
+				holders = append(holders, child)
 			}
 		}
 		if allowance < 0 {
@@ -70,23 +70,23 @@
 		}
 		shrinkKind(holders, kind, limit[kind], allowance, policy)
 	}
-	for kind, c := range children {
-		if c.thousandths == before[kind] {
+	for kind, child := range children {
+		if child.thousandths == before[kind] {
 			continue
 		}
-		if !c.isTeam {
-			route := *d.Routes[c.path]
+		if !child.isTeam {
+			route := *d.Routes[child.path]
 			routes, teams := route.Limits.Routes, route.Limits.Teams
-			route.Limits, route.Version = limitsFromThousandths(c.thousandths), d.Version
+			route.Limits, route.Version = limitsFromThousandths(child.thousandths), d.Version
 			route.Limits.Routes, route.Limits.Teams = routes, teams
-			d.Routes[c.path] = &route
+			d.Routes[child.path] = &route
 			continue
 		}
-		team := *d.Nodes[c.path]
-		team.Limits, team.Version = limitsFromThousandths(c.thousandths), d.Version
-		d.Nodes[c.path] = &team
-		d.markTotalsChanged(c.path)
-		if err := d.shrinkChildren(c.path, policy); err != nil {
+		team := *d.Nodes[child.path]
+		team.Limits, team.Version = limitsFromThousandths(child.thousandths), d.Version
+		d.Nodes[child.path] = &team
+		d.markTotalsChanged(child.path)
+		if err := d.shrinkChildren(child.path, policy); err != nil {
 			return err
 		}
 	}
@@ -96,11 +96,11 @@
 // cut brings one figure of some children within a room.
 func shrinkKind(holders []*child, kind int, limit, allowance int64, policy string) {
 	sum := int64(0)
-	for _, c := range holders {
-		if c.thousandths[kind] < 0 {
-			c.thousandths[kind] = limit
+	for _, holder := range holders {
+		if holder.thousandths[kind] < 0 {
+			holder.thousandths[kind] = limit
 		}
-		sum += c.thousandths[kind]
+		sum += holder.thousandths[kind]
 	}
 	if sum <= allowance {
 		return
@@ -108,17 +108,17 @@
 	if policy == ShrinkByPriority {
 		slices.SortStableFunc(holders, func(a, b *child) int { return cmp.Compare(a.priority, b.priority) })
 	}
-	for _, c := range holders {
+	for _, holder := range holders {
 		if policy == ShrinkByPriority {
-			c.thousandths[kind] = min(c.thousandths[kind], allowance)
+			holder.thousandths[kind] = min(holder.thousandths[kind], allowance)
 		} else {
-			c.thousandths[kind] = mulDiv(c.thousandths[kind], allowance, sum)
+			holder.thousandths[kind] = mulDiv(holder.thousandths[kind], allowance, sum)
 		}
 		if kind >= amountKinds {
-			c.thousandths[kind] -= c.thousandths[kind] % thousand // counts are whole
+			holder.thousandths[kind] -= holder.thousandths[kind] % thousand // counts are whole
 		}
 		if policy == ShrinkByPriority {
-			allowance -= c.thousandths[kind]
+			allowance -= holder.thousandths[kind]
 		}
 	}
 }
