routeupdate: the route table's form on the wire moves beside the API that carries it

Entry's check is now exported as Validate. In cmd/coralrelay/routes.go and internal/fleet/agent/routes.go only the qualified names and the import change. Nothing else changed.

--- a/cmd/coralrelay/routes.go
+++ b/cmd/coralrelay/routes.go
@@ -11,6 +11,7 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/logging"
 	"coralrelay/internal/route"
 )
@@ -150,7 +151,7 @@
 	})
 }
 
-func (r *fleetRouter) applyUpdate(update route.Update) {
+func (r *fleetRouter) applyUpdate(update routeupdate.Update) {
 	var next *route.Table
 	var err error
 	if r.table == nil || update.Complete {
--- a/internal/fleet/agent/routes.go
+++ b/internal/fleet/agent/routes.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/fleet/logentry"
-	"coralrelay/internal/route"
 	"coralrelay/internal/route/snapshot"
 )
 
@@ -22,14 +22,14 @@
 // made, so that it is new after each change and after each start of the agent.
 type routeTables struct {
 	mu             sync.Mutex
-	kept           []route.Update // the last few, whole, the latest last
-	versions       [3]uint64      // versions that the latest is of: accounts, contracts, allocations
+	kept           []routeupdate.Update // the last few, whole, the latest last
+	versions       [3]uint64            // versions that the latest is of: accounts, contracts, allocations
 	builtAt        time.Duration
 	readyEndpoints map[string]int // next hops by zone, as the node says
 	nodeHasTable   bool           // the node has a table
 	update         struct {       // as it was cut last
 		baseIndex, index uint64
-		parts            []route.Update
+		parts            []routeupdate.Update
 	}
 }
 
@@ -53,7 +53,7 @@
 		return
 	}
 	t.mu.Lock()
-	ready, last := t.readyEndpoints, route.Update{}
+	ready, last := t.readyEndpoints, routeupdate.Update{}
 	if len(t.kept) > 0 {
 		last = t.kept[len(t.kept)-1]
 	}
@@ -83,7 +83,7 @@
 		return
 	}
 	latest := t.kept[len(t.kept)-1]
-	var base *route.Update
+	var base *routeupdate.Update
 	for i := range t.kept {
 		if t.kept[i].Index == report.TableIndex {
 			base = &t.kept[i]
@@ -96,7 +96,7 @@
 	if update := &t.update; update.index != latest.Index || update.baseIndex != baseIndex {
 		table := latest
 		if base != nil {
-			table = route.Diff(*base, latest)
+			table = routeupdate.Diff(*base, latest)
 		}
 		update.baseIndex, update.index, update.parts = baseIndex, latest.Index, agentapi.SplitTable(table, agentapi.MaxPartBytes)
 	}
--- a/internal/fleet/agentapi/messages.go
+++ b/internal/fleet/agentapi/messages.go
@@ -14,8 +14,8 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/fleet/slo"
-	"coralrelay/internal/route"
 )
 
 // Longest is how long a line may be, in bytes: some ten thousand next hops.
@@ -45,7 +45,7 @@
 	}
 	Response struct {
 		balance.QuotaLease
-		Table       *route.Update       `json:"table,omitempty"`    // nil for no news
+		Table       *routeupdate.Update `json:"table,omitempty"`    // nil for no news
 		TableParts  int                 `json:"parts,omitempty"`    // of the table's news, all told
 		Lease       *account.QuotaLease `json:"rights,omitempty"`   // nil for no news
 		LeaseNumber uint64              `json:"deal,omitempty"`     // their number
--- a/internal/fleet/agentapi/reassembler.go
+++ b/internal/fleet/agentapi/reassembler.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/route"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
 // Part is how much of a table or of rights goes with one answer, in bytes of JSON, but for
@@ -15,11 +15,11 @@
 
 // TableParts cuts news of a table into parts, at least one. All have its head, and together
 // they are it.
-func SplitTable(update route.Update, maxBytes int) []route.Update {
-	head := route.Update{Index: update.Index, Complete: update.Complete, BaseIndex: update.BaseIndex}
-	parts, size := []route.Update{head}, 0
+func SplitTable(update routeupdate.Update, maxBytes int) []routeupdate.Update {
+	head := routeupdate.Update{Index: update.Index, Complete: update.Complete, BaseIndex: update.BaseIndex}
+	parts, size := []routeupdate.Update{head}, 0
 	parts[0].ReadyEndpoints = update.ReadyEndpoints
-	partFor := func(item any) *route.Update {
+	partFor := func(item any) *routeupdate.Update {
 		itemSize := sizeOf(item)
 		if size > 0 && size+itemSize > maxBytes {
 			parts, size = append(parts, head), 0
@@ -43,7 +43,7 @@
 }
 
 // join puts a further part to what came before it.
-func appendPart(update, part route.Update) route.Update {
+func appendPart(update, part routeupdate.Update) routeupdate.Update {
 	update.Set, update.Removed, update.Allocations = append(update.Set, part.Set...), append(update.Removed, part.Removed...), append(update.Allocations, part.Allocations...)
 	return update
 }
@@ -91,7 +91,7 @@
 // has nothing.
 type Reassembler struct {
 	tableIndex          uint64 // of the table that is gathered
-	table               route.Update
+	table               routeupdate.Update
 	tableParts          int
 	leaseNumber         uint64
 	lease               account.QuotaLease
@@ -107,20 +107,20 @@
 }
 
 // Table takes an answer's part of a table, and returns the news of it once it is whole.
-func (r *Reassembler) AddTable(response *Response) (route.Update, bool) {
+func (r *Reassembler) AddTable(response *Response) (routeupdate.Update, bool) {
 	switch {
 	case response.Table == nil:
-		return route.Update{}, false
+		return routeupdate.Update{}, false
 	case r.tableParts > 0 && response.Table.Index == r.tableIndex:
 		r.table = appendPart(r.table, *response.Table)
 	default:
 		r.tableIndex, r.table, r.tableParts = response.Table.Index, *response.Table, 0
 	}
 	if r.tableParts++; r.tableParts < response.TableParts {
-		return route.Update{}, false
+		return routeupdate.Update{}, false
 	}
 	update := r.table
-	r.tableIndex, r.table, r.tableParts = 0, route.Update{}, 0
+	r.tableIndex, r.table, r.tableParts = 0, routeupdate.Update{}, 0
 	return update, true
 }
 
--- a/internal/fleet/agentapi/reassembler_test.go
+++ b/internal/fleet/agentapi/reassembler_test.go
@@ -11,19 +11,19 @@
 	"pgregory.net/rapid"
 
 	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/route"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
-func newTestUpdate(routes, removed, allocations int) route.Update {
-	update := route.Update{Index: 9, BaseIndex: 4, ReadyEndpoints: map[string]int{"a": 3}}
+func newTestUpdate(routes, removed, allocations int) routeupdate.Update {
+	update := routeupdate.Update{Index: 9, BaseIndex: 4, ReadyEndpoints: map[string]int{"a": 3}}
 	for i := range routes {
-		update.Set = append(update.Set, route.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, AllowedZones: []string{"eu-a", "eu-b"}})
+		update.Set = append(update.Set, routeupdate.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, AllowedZones: []string{"eu-a", "eu-b"}})
 	}
 	for i := range removed {
 		update.Removed = append(update.Removed, fmt.Sprint("account/team:gone-", i))
 	}
 	for i := range allocations {
-		update.Allocations = append(update.Allocations, route.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
+		update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
 	}
 	return update
 }
@@ -50,7 +50,7 @@
 		reassembler := Reassembler{}
 		earlierLease := newTestLease(2, true)
 		reassembler.AddLease(&Response{Lease: &earlierLease, LeaseNumber: 1, LeaseParts: 1})
-		unfinished := Response{Table: &route.Update{Index: 8, Removed: []string{"of another"}}, TableParts: 2, Lease: &account.QuotaLease{HalfEpoch: 6, Allocated: earlierLease.Allocated}, LeaseNumber: 2, LeaseParts: 2}
+		unfinished := Response{Table: &routeupdate.Update{Index: 8, Removed: []string{"of another"}}, TableParts: 2, Lease: &account.QuotaLease{HalfEpoch: 6, Allocated: earlierLease.Allocated}, LeaseNumber: 2, LeaseParts: 2}
 		reassembler.AddTable(&unfinished)
 		reassembler.AddLease(&unfinished)
 		for i := range tables {
--- a/internal/route/update.go
+++ b/internal/fleet/agentapi/routeupdate/update.go
@@ -1,7 +1,6 @@
-// Package route finds the route of a transaction among all that the fleet's record holds,
-// says where it may be drawn, and counts what this node uses against its rights. It does
-// no I/O, reads no clock and starts no goroutine.
-package route
+// Package routeupdate is the form in which an agent sends routes to its node: complete, or as
+// the changes since an earlier index. It does no I/O, reads no clock and starts no goroutine.
+package routeupdate
 
 import (
 	"fmt"
@@ -45,10 +44,7 @@
 	RejectedShare float64            `json:"over,omitempty"` // of its set-ups, those that nobody has room for
 }
 
-// most bounds a table: as many routes as an account room keeps, and more.
-const maxRoutes = 1 << 16
-
-func (e *Entry) validate() error {
+func (e *Entry) Validate() error {
 	match := &e.Match
 	switch {
 	case e.Name == "" || e.Owner == "":
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -10,9 +10,9 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/fleet/slo"
 	"coralrelay/internal/fleet/storedtest"
-	"coralrelay/internal/route"
 )
 
 // The files in testdata/stored were written by the code of commit 011f0a6 with
@@ -47,13 +47,13 @@
 			Servers: []balance.ServerQuota{{ID: "server-c", StartedAt: 205, Tokens: 206}},
 			Zones:   []balance.ZoneQuota{{Zone: "zone-a", Share: 0.5, Tokens: 207}},
 		},
-		Table: &route.Update{Index: 208, Complete: true, BaseIndex: 209,
-			Set: []route.Entry{{Name: "r", Owner: "acme/web",
+		Table: &routeupdate.Update{Index: 208, Complete: true, BaseIndex: 209,
+			Set: []routeupdate.Entry{{Name: "r", Owner: "acme/web",
 				Match:        account.Match{Class: "class-a", Tenant: "tenant-a", Group: "group-a", HashFrom: 0.125, HashTo: 0.75, Returning: &returned, Retry: &retry},
 				ZoneShares:   []account.ZoneShare{{Zone: "zone-b", Percent: 60}, {Zone: "zone-c", Percent: 40}},
 				AllowedZones: []string{"zone-d", "zone-e"}, Contract: "contract-a"}},
 			Removed:        []string{"acme/web:gone"},
-			Allocations:    []route.Allocation{{Contract: "contract-b", Shares: map[string]float64{"zone-b": 0.625, "zone-c": 0.375}, RejectedShare: 0.0625}},
+			Allocations:    []routeupdate.Allocation{{Contract: "contract-b", Shares: map[string]float64{"zone-b": 0.625, "zone-c": 0.375}, RejectedShare: 0.0625}},
 			ReadyEndpoints: map[string]int{"zone-b": 210, "zone-c": 211}},
 		TableParts: 212,
 		Lease: &account.QuotaLease{HalfEpoch: 213, ExpiresAt: 214, HolderRank: 215, HolderCount: 216,
--- a/internal/route/bound.go
+++ b/internal/route/bound.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"coralrelay/balance"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
 // resolve says where a route's transactions may be drawn; nil for anywhere. What comes
@@ -19,7 +20,7 @@
 //
 // Parts and shares are of transactions, and the module keeps parts of draws: a zone with
 // twice the next hops is drawn twice as often, so that it keeps half for the same part.
-func resolveBound(entry *Entry, allocation *Allocation, readyEndpoints map[string]int) *balance.ZoneConstraint {
+func resolveBound(entry *routeupdate.Entry, allocation *routeupdate.Allocation, readyEndpoints map[string]int) *balance.ZoneConstraint {
 	if len(entry.ZoneShares) == 0 && len(entry.AllowedZones) == 0 && allocation == nil {
 		return nil
 	}
@@ -51,7 +52,7 @@
 			}
 		}
 		if len(combined) == 0 && len(entry.ZoneShares) == 0 { // what the owner may use is all there is
-			return resolveBound(&Entry{Name: entry.Name, Owner: entry.Owner, AllowedZones: entry.AllowedZones}, nil, readyEndpoints)
+			return resolveBound(&routeupdate.Entry{Name: entry.Name, Owner: entry.Owner, AllowedZones: entry.AllowedZones}, nil, readyEndpoints)
 		}
 		if len(combined) > 0 {
 			weights = combined
--- a/internal/route/bound_test.go
+++ b/internal/route/bound_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
 // Each pair of what bounds a route: what comes first is never widened by what comes later.
@@ -15,12 +16,14 @@
 		}
 		return p
 	}
-	allocate := func(shares map[string]float64) *Allocation { return &Allocation{Contract: "c", Shares: shares} }
+	allocate := func(shares map[string]float64) *routeupdate.Allocation {
+		return &routeupdate.Allocation{Contract: "c", Shares: shares}
+	}
 	for _, tt := range []struct {
 		name    string
 		zones   []string
 		parts   []account.ZoneShare
-		steered *Allocation
+		steered *routeupdate.Allocation
 		ready   map[string]int
 		want    string // zones and shares
 	}{
@@ -39,7 +42,7 @@
 		{"contract before locality", nil, nil, allocate(map[string]float64{"far": 1}), map[string]int{"near": 9, "far": 1}, "[{far 1}]"},
 		{"bad shares", nil, nil, allocate(map[string]float64{"a": -1, "b": 0}), nil, "anywhere"},
 	} {
-		e := Entry{Name: "r", Owner: "acme", AllowedZones: tt.zones, ZoneShares: tt.parts, Contract: "c"}
+		e := routeupdate.Entry{Name: "r", Owner: "acme", AllowedZones: tt.zones, ZoneShares: tt.parts, Contract: "c"}
 		got := "anywhere"
 		if bound := resolveBound(&e, tt.steered, tt.ready); bound != nil {
 			if got = fmt.Sprint(bound.Zones); bound.DefaultShare != 0 || bound.Name != "acme:r" {
--- a/internal/route/snapshot/build.go
+++ b/internal/route/snapshot/build.go
@@ -10,22 +10,22 @@
 	"strings"
 
 	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/fleet/slo"
-	"coralrelay/internal/route"
 )
 
 // Whole returns all of it, at an index of the record: routes by path, allocations by
 // contract. Regions are sets of zones by name; ready counts next hops by zone, as far as
 // the node has told them. What it returns shares the state's slices and changes nothing.
-func Build(index uint64, accounts account.State, contracts slo.State, regions map[string][]string, readyEndpoints map[string]int) route.Update {
-	update := route.Update{Index: index, Complete: true, ReadyEndpoints: readyEndpoints}
+func Build(index uint64, accounts account.State, contracts slo.State, regions map[string][]string, readyEndpoints map[string]int) routeupdate.Update {
+	update := routeupdate.Update{Index: index, Complete: true, ReadyEndpoints: readyEndpoints}
 	byHolder := map[string][]slo.Contract{}
 	for _, held := range contracts.Contracts {
 		byHolder[held.Holder] = append(byHolder[held.Holder], held)
 	}
 	for _, path := range slices.Sorted(maps.Keys(accounts.Routes)) {
 		r := accounts.Routes[path]
-		update.Set = append(update.Set, route.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: zoneShares(r.ZoneShares, regions, readyEndpoints),
+		update.Set = append(update.Set, routeupdate.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: zoneShares(r.ZoneShares, regions, readyEndpoints),
 			AllowedZones: allowedZones(accounts, r.Owner, regions), Contract: contractOf(r, contracts, byHolder)})
 	}
 	for _, allocation := range contracts.Allocations {
@@ -33,7 +33,7 @@
 		for _, name := range slices.Sorted(maps.Keys(allocation.Shares)) {
 			spreadOverZones(name, allocation.Shares[name], regions, readyEndpoints, func(zone string, share float64) { shares[zone] += share })
 		}
-		update.Allocations = append(update.Allocations, route.Allocation{Contract: allocation.Contract, Shares: shares, RejectedShare: allocation.Overflow})
+		update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: allocation.Contract, Shares: shares, RejectedShare: allocation.Overflow})
 	}
 	return update
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,3 +1,6 @@
+// Package route finds the route of a transaction among all that the fleet's record holds,
+// says where it may be drawn, and counts what this node uses against its rights. It does
+// no I/O, reads no clock and starts no goroutine.
 package route
 
 import (
@@ -9,6 +12,7 @@
 	"strings"
 
 	"coralrelay/balance"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
 // Route is where a transaction may go and what it counts against.
@@ -42,9 +46,9 @@
 type Table struct {
 	Index          uint64
 	seed           maphash.Seed
-	entries        map[string]Entry // by path
+	entries        map[string]routeupdate.Entry // by path
 	routes         map[string]*Route
-	allocations    map[string]Allocation
+	allocations    map[string]routeupdate.Allocation
 	readyEndpoints map[string]int
 	specificities  []int // that routes have, the most specific first
 	buckets        map[uint64]*bucket
@@ -69,8 +73,11 @@
 	next        *bucket     // of the same hash
 }
 
+// most bounds a table: as many routes as an account room keeps, and more.
+const maxRoutes = 1 << 16
+
 // Compile returns the table of a whole wire.
-func Compile(update Update) (*Table, error) {
+func Compile(update routeupdate.Update) (*Table, error) {
 	if !update.Complete {
 		return nil, fmt.Errorf("routes at %d: changes since %d, and there is nothing to change", update.Index, update.BaseIndex)
 	}
@@ -79,7 +86,7 @@
 
 // With returns the table after a change, which has to be one since this table's index. A
 // whole wire takes the place of all.
-func (t *Table) Apply(change Update) (*Table, error) {
+func (t *Table) Apply(change routeupdate.Update) (*Table, error) {
 	switch {
 	case change.Complete:
 		return Compile(change)
@@ -93,9 +100,9 @@
 	return t.build(change)
 }
 
-func (t *Table) build(update Update) (*Table, error) {
+func (t *Table) build(update routeupdate.Update) (*Table, error) {
 	next := &Table{Index: update.Index, seed: t.seed, readyEndpoints: t.readyEndpoints, buckets: map[uint64]*bucket{},
-		entries: make(map[string]Entry, len(t.entries)+len(update.Set)), allocations: map[string]Allocation{}}
+		entries: make(map[string]routeupdate.Entry, len(t.entries)+len(update.Set)), allocations: map[string]routeupdate.Allocation{}}
 	next.routes = make(map[string]*Route, len(t.entries)+len(update.Set))
 	maps.Copy(next.entries, t.entries)
 	maps.Copy(next.allocations, t.allocations)
@@ -115,7 +122,7 @@
 		}
 	}
 	for _, entry := range update.Set {
-		if err := entry.validate(); err != nil {
+		if err := entry.Validate(); err != nil {
 			return nil, err
 		}
 		next.entries[entry.Path()] = entry
@@ -154,7 +161,7 @@
 func hashEdge(share float64) uint64 { return uint64(share*(1<<53)) << 11 }
 
 // cell returns the cell of a route's match, made if there is none.
-func (t *Table) bucketFor(entry *Entry) *bucket {
+func (t *Table) bucketFor(entry *routeupdate.Entry) *bucket {
 	match := &entry.Match
 	query := Query{Class: match.Class, Tenant: match.Tenant, Group: match.Group}
 	query.Returning = match.Returning != nil && *match.Returning
@@ -170,9 +177,9 @@
 	return t.buckets[hash]
 }
 
-func (t *Table) compileRoute(entry *Entry) *Route {
+func (t *Table) compileRoute(entry *routeupdate.Entry) *Route {
 	compiled := &Route{Path: entry.Path(), Contract: entry.Contract}
-	var allocation *Allocation
+	var allocation *routeupdate.Allocation
 	if found, ok := t.allocations[entry.Contract]; ok && entry.Contract != "" {
 		allocation, compiled.RejectedShare = &found, found.RejectedShare
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -8,14 +8,15 @@
 	"pgregory.net/rapid"
 
 	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
 // entries draws routes that may tie, so that more than a checked record holds is tried.
-func drawUpdate(t *rapid.T, label string) (update Update) {
+func drawUpdate(t *rapid.T, label string) (update routeupdate.Update) {
 	words := rapid.SampledFrom([]string{"", "a", "b"})
 	flags := rapid.SampledFrom([]*bool{nil, new(bool), func() *bool { b := true; return &b }()})
 	for i, n := 0, rapid.IntRange(0, 30).Draw(t, label); i < n; i++ {
-		entry := Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
+		entry := routeupdate.Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
 		entry.Match = account.Match{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
 			Returning: flags.Draw(t, "returned"), Retry: flags.Draw(t, "retry")}
 		if entry.Match.Group == "" && rapid.Bool().Draw(t, "ranged") {
@@ -26,7 +27,7 @@
 	}
 	for _, c := range []string{"c1", "c2"} {
 		if rapid.Bool().Draw(t, "steered") {
-			update.Allocations = append(update.Allocations, Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
+			update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
 		}
 	}
 	update.Complete = true
@@ -50,7 +51,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		changed, err := table.Apply(Diff(before, after))
+		changed, err := table.Apply(routeupdate.Diff(before, after))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -62,7 +63,7 @@
 		for range 50 {
 			query := Query{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
 				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returning: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
-			var want *Entry
+			var want *routeupdate.Entry
 			for i := range after.Set {
 				if e := &after.Set[i]; matches(e.Match, query) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
 					want = e
@@ -82,16 +83,16 @@
 }
 
 func TestRejectsInvalidUpdates(t *testing.T) {
-	good, err := Compile(Update{Index: 3, Complete: true})
+	good, err := Compile(routeupdate.Update{Index: 3, Complete: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for want, update := range map[string]Update{
+	for want, update := range map[string]routeupdate.Update{
 		"nothing to change":  {Index: 4, BaseIndex: 3},
 		"changes from 2":     {Index: 4, BaseIndex: 2},
 		"changes from 3 to":  {Index: 2, BaseIndex: 3},
-		"no name":            {Index: 4, BaseIndex: 3, Set: []Entry{{Owner: "acme"}}},
-		`"acme:r": range 1 `: {Complete: true, Set: []Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
+		"no name":            {Index: 4, BaseIndex: 3, Set: []routeupdate.Entry{{Owner: "acme"}}},
+		`"acme:r": range 1 `: {Complete: true, Set: []routeupdate.Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
 	} {
 		_, err := good.Apply(update)
 		if want == "nothing to change" {
@@ -104,7 +105,7 @@
 }
 
 func TestRouteCountsOnEveryLevelAboveIt(t *testing.T) {
-	table, err := Compile(Update{Complete: true, Set: []Entry{{Owner: "acme/web/eu", Name: "all"}}})
+	table, err := Compile(routeupdate.Update{Complete: true, Set: []routeupdate.Entry{{Owner: "acme/web/eu", Name: "all"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,10 +130,10 @@
 
 func BenchmarkFind(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		update := Update{Complete: true}
+		update := routeupdate.Update{Complete: true}
 		var queries []Query
 		for i := range n {
-			entry := Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
+			entry := routeupdate.Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
 			entry.Match.Tenant = fmt.Sprintf("tenant%d.example", i/5)
 			query := Query{Class: "feed", Tenant: entry.Match.Tenant, Group: fmt.Sprint("group", i)}
 			switch i % 5 { // of five routes of a tenant, each is of another rank
