--- a/internal/route/limiter.go
+++ b/internal/route/limiter.go
@@ -68,7 +68,7 @@
 // invalid field.
 func NewLimiter(cfg account.LeaseConfig) (*Limiter, error) {
 	if key := cfg.InvalidField(); key != "" {
-		return nil, fmt.Errorf("ledger: %s can't be worked with", key)
+		return nil, fmt.Errorf("route limiter: invalid lease configuration: %s", key)
 	}
 	return &Limiter{
 		cfg:          cfg,
--- a/internal/route/snapshot/build.go
+++ b/internal/route/snapshot/build.go
@@ -1,6 +1,6 @@
-// Package told makes what an agent tells its node of routes out of the record's state. It
-// stands apart so that the node does not link what only the agent needs. It does no I/O,
-// reads no clock and starts no goroutine.
+// Package snapshot makes the complete update of routes that an agent sends to its node out of the
+// replicated log's state. It stands apart from package route so that the node does not link what
+// only the agent needs. It does no I/O, reads no clock and starts no goroutine, and has no errors.
 package snapshot
 
 import (
@@ -14,104 +14,147 @@
 	"coralrelay/internal/fleet/slo"
 )
 
-// Whole returns all of it, at an index of the record: routes by path, allocations by
-// contract. Regions are sets of zones by name; ready counts next hops by zone, as far as
-// the node has told them. What it returns shares the state's slices and changes nothing.
-func Build(index uint64, accounts account.State, contracts slo.State, regions map[string][]string, readyEndpoints map[string]int) routeupdate.Update {
+// Build returns the complete update at an index: routes by path, allocations by contract. Regions
+// are sets of zones by name; readyEndpoints are counts by zone, as far as the node has reported
+// them. The result shares the states' slices and changes nothing.
+func Build(
+	index uint64, accounts account.State, contracts slo.State,
+	regions map[string][]string, readyEndpoints map[string]int,
+) routeupdate.Update {
 	update := routeupdate.Update{Index: index, Complete: true, ReadyEndpoints: readyEndpoints}
 	byHolder := map[string][]slo.Contract{}
-	for _, held := range contracts.Contracts {
-		byHolder[held.Holder] = append(byHolder[held.Holder], held)
+	for _, contract := range contracts.Contracts {
+		byHolder[contract.Holder] = append(byHolder[contract.Holder], contract)
 	}
+	zones := zoneMap{regions: regions, readyEndpoints: readyEndpoints}
 	for _, path := range slices.Sorted(maps.Keys(accounts.Routes)) {
-		r := accounts.Routes[path]
-		update.Set = append(update.Set, routeupdate.Entry{Name: r.Name, Owner: r.Owner, Match: r.Match, ZoneShares: zoneShares(r.ZoneShares, regions, readyEndpoints),
-			AllowedZones: allowedZones(accounts, r.Owner, regions), Contract: contractOf(r, contracts, byHolder)})
+		route := accounts.Routes[path]
+		update.Set = append(update.Set, routeupdate.Entry{
+			Name:         route.Name,
+			Owner:        route.Owner,
+			Match:        route.Match,
+			ZoneShares:   zones.zoneShares(route.ZoneShares),
+			AllowedZones: zones.allowed(accounts, route.Owner),
+			Contract:     contractOf(route, contracts, byHolder),
+		})
 	}
 	for _, allocation := range contracts.Allocations {
-		shares := map[string]float64{}
-		for _, name := range slices.Sorted(maps.Keys(allocation.Shares)) {
-			spreadOverZones(name, allocation.Shares[name], regions, readyEndpoints, func(zone string, share float64) { shares[zone] += share })
-		}
-		update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: allocation.Contract, Shares: shares, RejectedShare: allocation.Overflow})
+		update.Allocations = append(update.Allocations, routeupdate.Allocation{
+			Contract:      allocation.Contract,
+			Shares:        zones.shares(allocation.Shares),
+			RejectedShare: allocation.Overflow,
+		})
 	}
 	return update
 }
 
-// spread deals the part of a zone or region among its zones, by their next hops.
-func spreadOverZones(name string, share float64, regions map[string][]string, readyEndpoints map[string]int, add func(zone string, share float64)) {
-	zones, total := regions[name], 0
+// zoneMap turns shares of zones and regions into shares of zones.
+type zoneMap struct {
+	regions        map[string][]string
+	readyEndpoints map[string]int
+}
+
+// spread divides the share of a zone or region among its zones, by their ready endpoints, evenly
+// where there are none.
+func (z zoneMap) spread(name string, share float64, add func(zone string, share float64)) {
+	zones := z.regions[name]
 	if len(zones) == 0 {
 		add(name, share)
 		return
 	}
+	total := 0
 	for _, zone := range zones {
-		total += readyEndpoints[zone]
+		total += z.readyEndpoints[zone]
 	}
 	for _, zone := range zones {
 		if total == 0 {
 			add(zone, share/float64(len(zones)))
 		} else {
-			add(zone, share*float64(readyEndpoints[zone])/float64(total))
+			add(zone, share*float64(z.readyEndpoints[zone])/float64(total))
 		}
 	}
 }
 
-func zoneShares(shares []account.ZoneShare, regions map[string][]string, readyEndpoints map[string]int) []account.ZoneShare {
+// shares returns the shares of zones, added up in the order of their zones' or regions' names.
+func (z zoneMap) shares(byName map[string]float64) map[string]float64 {
+	byZone := map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		z.spread(name, byName[name], func(zone string, share float64) { byZone[zone] += share })
+	}
+	return byZone
+}
+
+// zoneShares returns a route's shares of zones, in order; nil if it has none.
+func (z zoneMap) zoneShares(shares []account.ZoneShare) []account.ZoneShare {
 	if len(shares) == 0 {
 		return nil
 	}
-	sums := map[string]float64{}
+	byZone := map[string]float64{}
 	for _, share := range shares {
-		spreadOverZones(share.Zone, share.Percent, regions, readyEndpoints, func(zone string, share float64) { sums[zone] += share })
+		z.spread(share.Zone, share.Percent, func(zone string, percent float64) { byZone[zone] += percent })
 	}
 	var zones []account.ZoneShare
-	for _, zone := range slices.Sorted(maps.Keys(sums)) {
-		zones = append(zones, account.ZoneShare{Zone: zone, Percent: sums[zone]})
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		zones = append(zones, account.ZoneShare{Zone: zone, Percent: byZone[zone]})
 	}
 	return zones
 }
 
-// zonesOf returns what an owner may use: its own list, or that of the nearest above that
-// has one, as a list is never wider than one above it.
-func allowedZones(accounts account.State, owner string, regions map[string][]string) (zones []string) {
+// allowed returns the zones that an owner may use, in order: its own list, or that of the nearest
+// ancestor that has one, as a list is never wider than one above it. Nil is all.
+func (z zoneMap) allowed(accounts account.State, owner string) []string {
 	for path := owner; path != ""; path = parent(path) {
-		if node := accounts.Nodes[path]; node != nil && len(node.Scope.Zones) > 0 {
-			for _, name := range node.Scope.Zones {
-				spreadOverZones(name, 1, regions, nil, func(zone string, _ float64) { zones = append(zones, zone) })
+		node := accounts.Nodes[path]
+		if node == nil || len(node.Scope.Zones) == 0 {
+			continue
+		}
+		var zones []string
+		for _, name := range node.Scope.Zones {
+			if inRegion := z.regions[name]; len(inRegion) > 0 {
+				zones = append(zones, inRegion...)
+			} else {
+				zones = append(zones, name)
 			}
-			slices.Sort(zones)
-			return slices.Compact(zones)
 		}
+		slices.Sort(zones)
+		return slices.Compact(zones)
 	}
 	return nil
 }
 
-// contract names the contract that a route goes by: the one that it states, or that of the
-// nearest holder, of several the first by priority that was ever steered.
+// contractOf names the contract that a route goes by: the one that it states, or that of the
+// nearest holder above it, of several the first by priority that has ever had an allocation.
 func contractOf(route *account.Route, contracts slo.State, byHolder map[string][]slo.Contract) string {
 	if route.Contract != "" {
 		return route.Contract
 	}
 	for path := route.Path(); path != ""; path = parent(path) {
 		if candidates := byHolder[path]; len(candidates) > 0 {
-			best := slices.MinFunc(candidates, func(a, b slo.Contract) int {
-				return cmp.Or(cmp.Compare(unsteeredLast(contracts, a), unsteeredLast(contracts, b)), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Name, b.Name))
-			})
-			return best.Name
+			return preferred(candidates, contracts).Name
 		}
 	}
 	return ""
 }
 
-func unsteeredLast(contracts slo.State, contract slo.Contract) int {
+// preferred returns the contract that counts among several of one holder.
+func preferred(candidates []slo.Contract, contracts slo.State) slo.Contract {
+	return slices.MinFunc(candidates, func(a, b slo.Contract) int {
+		return cmp.Or(
+			cmp.Compare(unallocated(contracts, a), unallocated(contracts, b)),
+			cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// unallocated is 1 for a contract without an allocation, to order it after the others.
+func unallocated(contracts slo.State, contract slo.Contract) int {
 	if _, ok := contracts.Allocation(contract.Name); ok {
 		return 0
 	}
 	return 1
 }
 
-// above returns the path above: of a route its owner, of an account none.
+// parent returns the path of the parent: of a route its owner, of an account none.
 func parent(path string) string {
 	return path[:max(strings.LastIndexAny(path, ":/"), 0)]
 }
