agentapi: messages, lines, calls, splitting in files of their own; doc comments

JSON keys, their order and all texts are as before; an error of SetDeadline in Call now names the agent as its others do.

--- /dev/null
+++ b/internal/fleet/agentapi/call.go
@@ -0,0 +1,45 @@
+package agentapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+)
+
+// operatorTimeout is how long the agent may take for an operator's answer: a replicated log
+// without a leader needs some seconds to say so.
+const operatorTimeout = 10 * time.Second
+
+// Call sends an operator's request to the agent at addr and reads its answer into into. What the
+// agent rejects is a *CallError.
+func Call(addr string, request, into any) error {
+	conn, err := net.DialTimeout("tcp", addr, responseTimeout)
+	if err != nil {
+		return fmt.Errorf("fleet agent: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(operatorTimeout)); err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	answer, err := roundTrip(conn, request)
+	if err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	var callError CallError
+	if err := json.Unmarshal(answer, &callError); err == nil && callError.Message != "" {
+		return &callError
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("fleet agent %s: %w", addr, err)
+	}
+	return nil
+}
+
+func roundTrip(conn net.Conn, request any) (answer json.RawMessage, err error) {
+	if err := writeLine(conn, request); err != nil {
+		return nil, err
+	}
+	err = readLine(newLineScanner(conn), &answer)
+	return answer, err
+}
--- a/internal/fleet/agentapi/client.go
+++ b/internal/fleet/agentapi/client.go
@@ -2,30 +2,30 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"time"
 )
 
-// Every is how often the node asks: often enough to use tokens that are good for half an
-// epoch, and to hear of what the fleet has decided, seldom enough to cost nothing beside its
+// ReportInterval is how often the node reports: often enough to use tokens that are valid for half
+// an epoch, and to learn what the fleet has decided, seldom enough to cost nothing beside its
 // traffic.
 const ReportInterval = 100 * time.Millisecond
 
-// Link is the node's end.
+// Client is the node's end. Its functions are called on Run's goroutine.
 type Client struct {
 	Addr           string
 	MakeReport     func() Report
 	HandleResponse func(Response)
-	OnDisconnect   func(err error) // told once each time that the agent can't be reached any more
+	OnDisconnect   func(err error) // called once each time that the agent can't be reached any more
 }
 
-// Run asks until ctx ends.
+// Run reports until ctx ends, and reconnects every ReportInterval.
 func (c *Client) Run(ctx context.Context) {
 	tick := time.NewTicker(ReportInterval)
 	defer tick.Stop()
-	for connected := true; ; {
+	connected := true // so that an agent that was never there is reported too
+	for {
 		err := c.converse(ctx, tick, func() { connected = true })
 		if ctx.Err() != nil {
 			return
@@ -34,15 +34,13 @@
 			c.OnDisconnect(fmt.Errorf("fleet agent %s: %w", c.Addr, err))
 		}
 		connected = false
-		select {
-		case <-ctx.Done():
+		if waitForTick(ctx, tick) != nil {
 			return
-		case <-tick.C:
 		}
 	}
 }
 
-// talk asks over one connection until it breaks.
+// converse reports over one connection until it breaks. It calls connected after each response.
 func (c *Client) converse(ctx context.Context, tick *time.Ticker, connected func()) error {
 	conn, err := (&net.Dialer{Timeout: responseTimeout}).DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
@@ -56,7 +54,7 @@
 		if err := conn.SetDeadline(time.Now().Add(responseTimeout)); err != nil {
 			return err
 		}
-		if err := json.NewEncoder(conn).Encode(c.MakeReport()); err != nil {
+		if err := writeLine(conn, c.MakeReport()); err != nil {
 			return err
 		}
 		var response Response
@@ -68,10 +66,18 @@
 		if response.More && ctx.Err() == nil {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
+		if err := waitForTick(ctx, tick); err != nil {
+			return err
 		}
 	}
 }
+
+// waitForTick returns ctx's error if that ends first.
+func waitForTick(ctx context.Context, tick *time.Ticker) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-tick.C:
+		return nil
+	}
+}
--- a/internal/fleet/agentapi/reassembler.go
+++ b/internal/fleet/agentapi/reassembler.go
@@ -1,148 +1,78 @@
 package agentapi
 
 import (
-	"encoding/json"
 	"maps"
-	"slices"
 
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
-// Part is how much of a table or of rights goes with one answer, in bytes of JSON, but for
-// what one entry is beyond it: a whole answer stays below Longest.
-const MaxPartBytes = 1 << 20
-
-// TableParts cuts news of a table into parts, at least one. All have its head, and together
-// they are it.
-func SplitTable(update routeupdate.Update, maxBytes int) []routeupdate.Update {
-	head := routeupdate.Update{Index: update.Index, Complete: update.Complete, BaseIndex: update.BaseIndex}
-	parts, size := []routeupdate.Update{head}, 0
-	parts[0].ReadyEndpoints = update.ReadyEndpoints
-	partFor := func(item any) *routeupdate.Update {
-		itemSize := sizeOf(item)
-		if size > 0 && size+itemSize > maxBytes {
-			parts, size = append(parts, head), 0
-		}
-		size += itemSize
-		return &parts[len(parts)-1]
-	}
-	for _, entry := range update.Set {
-		part := partFor(entry)
-		part.Set = append(part.Set, entry)
-	}
-	for _, path := range update.Removed {
-		part := partFor(path)
-		part.Removed = append(part.Removed, path)
-	}
-	for _, allocation := range update.Allocations {
-		part := partFor(allocation)
-		part.Allocations = append(part.Allocations, allocation)
-	}
-	return parts
-}
-
-// join puts a further part to what came before it.
-func appendPart(update, part routeupdate.Update) routeupdate.Update {
-	update.Set, update.Removed, update.Allocations = append(update.Set, part.Set...), append(update.Removed, part.Removed...), append(update.Allocations, part.Allocations...)
-	return update
-}
-
-// RightsParts cuts rights into parts, at least one.
-func SplitLease(lease account.QuotaLease, maxBytes int) []account.QuotaLease {
-	head := lease
-	head.Allocated, head.EvenShares = nil, nil
-	parts, size := []account.QuotaLease{head}, 0
-	partFor := func(path string, amounts account.Amounts) *account.QuotaLease {
-		itemSize := sizeOf(path) + sizeOf(amounts)
-		if size > 0 && size+itemSize > maxBytes {
-			parts, size = append(parts, head), 0
-		}
-		size += itemSize
-		return &parts[len(parts)-1]
-	}
-	for _, path := range slices.Sorted(maps.Keys(lease.Allocated)) {
-		part := partFor(path, lease.Allocated[path])
-		putAmounts(&part.Allocated, path, lease.Allocated[path])
-	}
-	for _, path := range slices.Sorted(maps.Keys(lease.EvenShares)) {
-		part := partFor(path, lease.EvenShares[path])
-		putAmounts(&part.EvenShares, path, lease.EvenShares[path])
-	}
-	return parts
-}
+// Reassembler puts the parts of updates and leases together, on the node's side. Its zero value has
+// none. It is for one goroutine.
+type Reassembler struct {
+	tableIndex uint64 // of the update that is being received
+	table      routeupdate.Update
+	tableParts int // received
 
-func putAmounts(byPath *map[string]account.Amounts, path string, amounts account.Amounts) {
-	if *byPath == nil {
-		*byPath = map[string]account.Amounts{}
-	}
-	(*byPath)[path] = amounts
-}
+	leaseNumber uint64 // of the lease that is being received, or was received last
+	lease       account.QuotaLease
+	leaseParts  int // received
 
-func sizeOf(item any) int {
-	raw, err := json.Marshal(item)
-	if err != nil {
-		return 0 // then the answer that holds it can't be written, and says so
-	}
-	return len(raw) + 2
+	completeLeaseNumber uint64 // of the last complete lease,
+	evenShares          map[string]account.Amounts
 }
 
-// Gathering puts the parts of tables and rights together, on the node's side. Its zero value
-// has nothing.
-type Reassembler struct {
-	tableIndex          uint64 // of the table that is gathered
-	table               routeupdate.Update
-	tableParts          int
-	leaseNumber         uint64
-	lease               account.QuotaLease
-	leaseParts          int
-	evenShares          map[string]account.Amounts // of the last deal that is whole,
-	completeLeaseNumber uint64                     // and its number
-}
-
-// Say tells the agent what there is already.
+// FillProgress puts what was received into a report.
 func (r *Reassembler) FillProgress(report *Report) {
-	report.PartialTableIndex, report.TablePartsReceived, report.LeaseNumber, report.LeasePartsReceived = r.tableIndex, r.tableParts, r.leaseNumber, r.leaseParts
+	report.PartialTableIndex, report.TablePartsReceived = r.tableIndex, r.tableParts
+	report.LeaseNumber, report.LeasePartsReceived = r.leaseNumber, r.leaseParts
 	report.CompleteLeaseNumber = r.completeLeaseNumber
 }
 
-// Table takes an answer's part of a table, and returns the news of it once it is whole.
-func (r *Reassembler) AddTable(response *Response) (routeupdate.Update, bool) {
+// AddTable takes a response's part of an update, and returns the update once it is complete. A part
+// of another update discards what was received of the one before.
+func (r *Reassembler) AddTable(response *Response) (update routeupdate.Update, isComplete bool) {
+	part := response.Table
 	switch {
-	case response.Table == nil:
+	case part == nil:
 		return routeupdate.Update{}, false
-	case r.tableParts > 0 && response.Table.Index == r.tableIndex:
-		r.table = appendPart(r.table, *response.Table)
+	case r.tableParts > 0 && part.Index == r.tableIndex:
+		r.table.Set = append(r.table.Set, part.Set...)
+		r.table.Removed = append(r.table.Removed, part.Removed...)
+		r.table.Allocations = append(r.table.Allocations, part.Allocations...)
 	default:
-		r.tableIndex, r.table, r.tableParts = response.Table.Index, *response.Table, 0
+		r.tableIndex, r.table, r.tableParts = part.Index, *part, 0
 	}
-	if r.tableParts++; r.tableParts < response.TableParts {
+	r.tableParts++
+	if r.tableParts < response.TableParts {
 		return routeupdate.Update{}, false
 	}
-	update := r.table
+	update = r.table
 	r.tableIndex, r.table, r.tableParts = 0, routeupdate.Update{}, 0
 	return update, true
 }
 
-// Rights takes an answer's part of rights, and returns them once they are whole.
-func (r *Reassembler) AddLease(response *Response) (account.QuotaLease, bool) {
-	switch {
-	case response.Lease == nil:
+// AddLease takes a response's part of a lease, and returns the lease once it is complete. A part of
+// another lease discards what was received of the one before.
+func (r *Reassembler) AddLease(response *Response) (lease account.QuotaLease, isComplete bool) {
+	part := response.Lease
+	if part == nil {
 		return account.QuotaLease{}, false
-	case r.leaseParts > 0 && response.LeaseNumber == r.leaseNumber:
-	default:
+	}
+	if r.leaseParts == 0 || response.LeaseNumber != r.leaseNumber {
 		r.leaseNumber, r.leaseParts = response.LeaseNumber, 0
-		r.lease = *response.Lease
+		r.lease = *part
 		r.lease.Allocated, r.lease.EvenShares = map[string]account.Amounts{}, nil
 	}
-	maps.Copy(r.lease.Allocated, response.Lease.Allocated)
-	for path, amounts := range response.Lease.EvenShares {
+	maps.Copy(r.lease.Allocated, part.Allocated)
+	for path, amounts := range part.EvenShares {
 		putAmounts(&r.lease.EvenShares, path, amounts)
 	}
-	if r.leaseParts++; r.leaseParts < response.LeaseParts {
+	r.leaseParts++
+	if r.leaseParts < response.LeaseParts {
 		return account.QuotaLease{}, false
 	}
-	lease := r.lease
+	lease = r.lease
 	if lease.EvenShares == nil {
 		lease.EvenShares = r.evenShares
 	}
--- a/internal/fleet/agentapi/server.go
+++ b/internal/fleet/agentapi/server.go
@@ -9,25 +9,28 @@
 	"time"
 )
 
-// Agent answers on the agent's port. Both may be called by several connections at once.
+// Agent answers on the agent's port. Both methods may be called by several connections at once.
 type Agent interface {
-	// Answer takes what a node has said.
+	// HandleReport takes what a node reports.
 	HandleReport(Report) Response
-	// Operator takes an operator's ask, and gives up when ctx ends. Its error may be a
-	// *Refusal.
+	// HandleOperator takes an operator's request, and gives up when ctx ends. Its error may be a
+	// *CallError.
 	HandleOperator(context.Context, OperatorRequest) (any, error)
 }
 
 const (
-	// mostConnections are served at once: a node has one, and for a moment a second while
-	// it makes it anew, and an operator's lasts for one ask.
+	// maxConnections are served at once: a node has one, and for a moment a second while it
+	// reconnects, and an operator's lasts for one request.
 	maxConnections = 8
-	// silent is how long a connection may say nothing.
+	// idleTimeout is how long a connection may send nothing.
 	idleTimeout = 10 * time.Second
+	// handlerTimeout leaves time to send the answer before the operator's command gives up.
+	handlerTimeout = operatorTimeout / 2
 )
 
-// Serve answers on l until ctx ends.
-func Serve(ctx context.Context, listener net.Listener, a Agent) error {
+// Serve answers on a listener until ctx ends, and closes it then. Its error is the listener's. A
+// connection beyond maxConnections is closed at once.
+func Serve(ctx context.Context, listener net.Listener, agent Agent) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	slots := make(chan struct{}, maxConnections)
@@ -47,46 +50,50 @@
 		}
 		go func() {
 			defer func() { _ = conn.Close(); <-slots }()
-			end := context.AfterFunc(ctx, func() { _ = conn.Close() })
-			defer end()
-			serveConn(ctx, conn, a)
+			stopClosing := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			defer stopClosing()
+			serveConn(ctx, conn, agent)
 		}()
 	}
 }
 
-// converse answers one connection until it breaks off, or has asked as an operator.
+// serveConn answers one connection until it breaks off, or was answered as an operator's.
 func serveConn(ctx context.Context, conn net.Conn, agent Agent) {
 	scanner := newLineScanner(conn)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		if !scanner.Scan() {
+			return
+		}
 		var line struct {
 			Report
 			OperatorRequest
 		}
-		if !scanner.Scan() {
-			return
-		}
 		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
-			_ = writeLine(conn, &CallError{Message: fmt.Sprintf("the line can't be read: %v", err)})
+			_ = answer(conn, &CallError{Message: fmt.Sprintf("the line can't be read: %v", err)})
 			return
 		}
-		if line.OperatorRequest.Method == "" {
-			if writeLine(conn, agent.HandleReport(line.Report)) != nil {
-				return
-			}
-			continue
+		if line.OperatorRequest.Method != "" {
+			_ = answer(conn, handleOperator(ctx, agent, line.OperatorRequest))
+			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, operatorTimeout/2)
-		answer, err := agent.HandleOperator(ctx, line.OperatorRequest)
-		cancel()
-		if err != nil {
-			answer = asCallError(err)
+		if answer(conn, agent.HandleReport(line.Report)) != nil {
+			return
 		}
-		_ = writeLine(conn, answer)
-		return
 	}
 }
 
+// handleOperator returns the agent's answer to an operator, a *CallError for what it rejects.
+func handleOperator(ctx context.Context, agent Agent, request OperatorRequest) any {
+	ctx, cancel := context.WithTimeout(ctx, handlerTimeout)
+	defer cancel()
+	result, err := agent.HandleOperator(ctx, request)
+	if err != nil {
+		return asCallError(err)
+	}
+	return result
+}
+
 func asCallError(err error) *CallError {
 	var callError *CallError
 	if errors.As(err, &callError) {
@@ -95,7 +102,7 @@
 	return &CallError{Message: err.Error()}
 }
 
-func writeLine(conn net.Conn, message any) error {
+func answer(conn net.Conn, message any) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(responseTimeout))
-	return json.NewEncoder(conn).Encode(message)
+	return writeLine(conn, message)
 }
