--- a/internal/fleet/account/allocate.go
+++ b/internal/fleet/account/allocate.go
@@ -25,7 +25,9 @@
 // that is warming up: all of an epoch's tokens in its first half, and again in the second what is
 // known not to have been spent. What a member has of a parent's is then distributed among the
 // children by what this member demands of each. No report makes the sum over all members greater.
-func Allocate(now time.Duration, cfg LeaseConfig, state State, reports []Usage, holders []string, self string) QuotaLease {
+func Allocate(
+	now time.Duration, cfg LeaseConfig, state State, reports []Usage, holders []string, self string,
+) QuotaLease {
 	latest := latestReports(reports)
 	ownUsage := Usage{}
 	if usage := latest[self]; usage != nil {
@@ -54,7 +56,9 @@
 // AllocateEvenShare returns the lease of a member that has not heard from the replicated log for
 // HolderTimeout, or sees too few others: its even share, among as many holders as in its previous
 // lease.
-func AllocateEvenShare(now time.Duration, cfg LeaseConfig, state State, ownUsage Usage, previous QuotaLease) QuotaLease {
+func AllocateEvenShare(
+	now time.Duration, cfg LeaseConfig, state State, ownUsage Usage, previous QuotaLease,
+) QuotaLease {
 	count := max(previous.HolderCount, 1)
 	halfEpoch := cfg.halfEpoch(now)
 	allot := func(path string, kind int, limit int64) int64 {
--- a/internal/fleet/account/tree.go
+++ b/internal/fleet/account/tree.go
@@ -54,7 +54,7 @@
 // Node is an account, or a team in one. The versions are those of the State.
 type Node struct {
 	Limits              Limits  `json:"limits"`
-	Overcommit          float64 `json:"overcommit,omitempty"` // children may hold so many times the limits; from 1 on, 0 is 1
+	Overcommit          float64 `json:"overcommit,omitempty"` // times the limits that children may hold; from 1 on, 0 is 1
 	Scope               Scope   `json:"scope,omitzero"`
 	Priority            int     `json:"priority,omitempty"` // the lower keeps longest when its parent is cut
 	CreatedVersion      uint64  `json:"born,omitempty"`
