--- a/internal/route/limiter_test.go
+++ b/internal/route/limiter_test.go
@@ -12,7 +12,7 @@
 
 var testRoute = &Route{Path: "acme/web:r", Account: "acme", Levels: []string{"acme", "acme/web", "acme/web:r"}}
 
-// ledger returns one with an epoch of a second, in its half 100, and the time.
+// newTestLimiter returns one with an epoch of a second, and a time in its half epoch 100.
 func newTestLimiter(t interface{ Fatal(...any) }) (*Limiter, time.Duration) {
 	l, err := NewLimiter(account.LeaseConfig{Epoch: time.Second, HolderTimeout: 3 * time.Second})
 	if err != nil {
@@ -21,6 +21,7 @@
 	return l, 50 * time.Second
 }
 
+// newTestLease returns a lease with small even shares of the same paths.
 func newTestLease(halfEpoch int64, paths map[string]account.Amounts) account.QuotaLease {
 	evenShares := map[string]account.Amounts{}
 	for path := range paths {
@@ -29,103 +30,114 @@
 	return account.QuotaLease{HalfEpoch: halfEpoch, Allocated: paths, EvenShares: evenShares, HolderCount: 1}
 }
 
-// admit asks for n transactions and tells how many were taken, and which level was full.
-func admit(l *Limiter, now time.Duration, retry bool, n int) (taken int, full string) {
-	for range n {
-		ok, over := l.Admit(now, testRoute, retry)
+// admit returns how many of some sessions are admitted, and which level was full.
+func admit(l *Limiter, now time.Duration, retry bool, sessions int) (admitted int, fullPath string) {
+	for range sessions {
+		ok, full := l.Admit(now, testRoute, retry)
 		if ok {
-			taken++
+			admitted++
 		} else {
-			full = over
+			fullPath = full
 		}
 	}
-	return taken, full
+	return admitted, fullPath
 }
 
 func TestEveryLevelOfARouteLimitsIt(t *testing.T) {
+	const sessions = 20
+	type amountsByPath = map[string]account.Amounts
 	free := account.Amounts{Connections: -1, Setups: -1, Retries: -1, Probes: -1}
+	fewSetups := account.Amounts{Connections: -1, Setups: 3, Retries: -1, Probes: -1}
+	fewConnections := account.Amounts{Connections: 4, Setups: 9, Retries: -1, Probes: -1}
+	fewRetries := account.Amounts{Connections: -1, Setups: -1, Retries: 2, Probes: -1}
+	noProbes := account.Amounts{Connections: -1, Setups: -1, Retries: -1}
+	noSetups := account.Amounts{Connections: -1, Probes: -1}
 	for _, tt := range []struct {
-		name   string
-		paths  map[string]account.Amounts
-		retry  bool
-		taken  int
-		full   string
-		figure string
+		name         string
+		allocated    amountsByPath
+		retry        bool
+		wantAdmitted int
+		wantFull     string
+		wantResource string
 	}{
-		{"no bound", map[string]account.Amounts{"acme": free, "acme/web": free, "acme/web:r": free}, false, 20, "", ""},
-		{"the account's rate", map[string]account.Amounts{"acme": {Connections: -1, Setups: 3, Retries: -1, Probes: -1}, "acme/web:r": free}, false, 3, "acme", "rate"},
-		{"the team's standing", map[string]account.Amounts{"acme": free, "acme/web": {Connections: 4, Setups: 9, Retries: -1, Probes: -1}}, false, 4, "acme/web", "open"},
-		{"the route's retries", map[string]account.Amounts{"acme/web:r": {Connections: -1, Setups: -1, Retries: 2, Probes: -1}}, true, 2, "acme/web:r", "retries"},
-		{"none of them a retry", map[string]account.Amounts{"acme/web:r": {Connections: -1, Setups: -1, Retries: 2, Probes: -1}}, false, 20, "", ""},
-		{"no probes", map[string]account.Amounts{"acme": {Connections: -1, Setups: -1, Retries: -1}}, false, 0, "acme", "probes"},
-		{"nothing is allowed", map[string]account.Amounts{"acme": free, "acme/web": {}}, false, 0, "acme/web", "open"},
-		{"the highest is named", map[string]account.Amounts{"acme": {Connections: -1, Probes: -1}, "acme/web": {}}, false, 0, "acme", "rate"},
+		{"no bound", amountsByPath{"acme": free, "acme/web": free, "acme/web:r": free}, false, sessions, "", ""},
+		{"the account's set-ups", amountsByPath{"acme": fewSetups, "acme/web:r": free}, false, 3, "acme", "rate"},
+		{"the team's connections", amountsByPath{"acme": free, "acme/web": fewConnections}, false, 4, "acme/web", "open"},
+		{"the route's retries", amountsByPath{"acme/web:r": fewRetries}, true, 2, "acme/web:r", "retries"},
+		{"none of them a retry", amountsByPath{"acme/web:r": fewRetries}, false, sessions, "", ""},
+		{"no probes", amountsByPath{"acme": noProbes}, false, 0, "acme", "probes"},
+		{"nothing is allowed", amountsByPath{"acme": free, "acme/web": {}}, false, 0, "acme/web", "open"},
+		{"the highest is named", amountsByPath{"acme": noSetups, "acme/web": {}}, false, 0, "acme", "rate"},
 	} {
-		l, now := newTestLimiter(t)
-		l.SetLease(newTestLease(100, tt.paths), now)
-		taken, full := admit(l, now, tt.retry, 20)
-		if taken != tt.taken || full != tt.full {
-			t.Errorf("%s: %d taken, then %q is full; want %d and %q", tt.name, taken, full, tt.taken, tt.full)
-		}
-		want := map[Rejection]uint64{}
-		if full != "" {
-			want[Rejection{"acme", tt.full, tt.figure}] = uint64(20 - tt.taken)
-		}
-		if got := l.Rejections(); fmt.Sprint(got) != fmt.Sprint(want) {
-			t.Errorf("%s: %v refused, want %v", tt.name, got, want)
-		}
+		t.Run(tt.name, func(t *testing.T) {
+			l, now := newTestLimiter(t)
+			l.SetLease(newTestLease(100, tt.allocated), now)
+			admitted, full := admit(l, now, tt.retry, sessions)
+			if admitted != tt.wantAdmitted || full != tt.wantFull {
+				t.Errorf("%d admitted, then %q is full; want %d and %q", admitted, full, tt.wantAdmitted, tt.wantFull)
+			}
+			want := map[Rejection]uint64{}
+			if full != "" {
+				want[Rejection{"acme", tt.wantFull, tt.wantResource}] = uint64(sessions - tt.wantAdmitted)
+			}
+			if got := l.Rejections(); fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Errorf("%v rejected, want %v", got, want)
+			}
+		})
 	}
 }
 
-// Tokens are of their half. Before new ones come a node goes by its even part, and what it
-// has used counts then; what may stand is as dealt until the hold is over.
+// Tokens are of their half epoch. Before a lease for it comes a node goes by its even share, and
+// what it has used counts then; connections are as in the last lease until HolderTimeout is over.
 func TestLeasesExpireWithTheirHalfEpoch(t *testing.T) {
 	l, now := newTestLimiter(t)
-	if taken, _ := admit(l, now, false, 5); taken != 5 {
-		t.Errorf("%d of 5 taken before anything was dealt", taken)
-	}
-	for range 5 {
-		l.ConnectionClosed(testRoute)
+	admits := func(what string, sessions, want int) {
+		t.Helper()
+		if admitted, _ := admit(l, now, false, sessions); admitted != want {
+			t.Errorf("%s: %d of %d admitted, want %d", what, admitted, sessions, want)
+		}
 	}
-	accountLimits := func(open, rate float64) map[string]account.Amounts {
-		return map[string]account.Amounts{"acme": {Connections: open, Setups: rate, Retries: -1, Probes: -1}}
+	accountLease := func(halfEpoch int64, connections, setups float64) account.QuotaLease {
+		amounts := account.Amounts{Connections: connections, Setups: setups, Retries: -1, Probes: -1}
+		return newTestLease(halfEpoch, map[string]account.Amounts{"acme": amounts})
 	}
-	admits := func(what string, attempts, want int) {
-		t.Helper()
-		if taken, _ := admit(l, now, false, attempts); taken != want {
-			t.Errorf("%s: %d of %d taken, want %d", what, taken, attempts, want)
+	closeConnections := func(count int) {
+		for range count {
+			l.ConnectionClosed(testRoute)
 		}
 	}
-	l.SetLease(newTestLease(100, accountLimits(9, 7)), now)
+	admits("before any lease", 5, 5)
+	closeConnections(5)
+	l.SetLease(accountLease(100, 9, 7), now)
 	admits("five are used of seven", 9, 2)
-	l.SetLease(newTestLease(99, accountLimits(9, 99)), now)
-	admits("an older half's rights", 9, 0)
+	l.SetLease(accountLease(99, 9, 99), now)
+	admits("the lease of an earlier half", 9, 0)
 	now += 500 * time.Millisecond
-	admits("a half without its rights: four a second", 9, 2)
-	l.SetLease(newTestLease(101, accountLimits(9, 3)), now)
+	admits("a half without its lease: four a second", 9, 2)
+	l.SetLease(accountLease(101, 9, 3), now)
 	admits("what was used counts", 9, 1)
-	if u := l.Usage(now); u.HalfEpoch != 101 || u.Used["acme"] != (account.Amounts{Connections: 5, Setups: 3}) || u.UsedBefore["acme"].Setups != 7 || u.Demand["acme"].Setups != 7+7+9 {
-		t.Errorf("told: %+v", u)
+	usage := l.Usage(now)
+	if usage.HalfEpoch != 101 || usage.Used["acme"] != (account.Amounts{Connections: 5, Setups: 3}) ||
+		usage.UsedBefore["acme"].Setups != 7 || usage.Demand["acme"].Setups != 7+7+9 {
+		t.Errorf("reported: %+v", usage)
 	}
 	now += 2 * time.Second
-	admits("within the hold four more may stand, two tokens each half", 9, 2)
+	admits("within the timeout four more connections, two tokens each half", 9, 2)
 	now += time.Second
-	admits("the even part: one may stand", 9, 0)
-	for range 7 {
-		l.ConnectionClosed(testRoute)
-	}
-	admits("and nothing does", 9, 1)
-	l.ConnectionClosed(testRoute)
-	l.ConnectionClosed(testRoute) // once too often takes nothing from anyone
+	admits("the even share: one connection", 9, 0)
+	closeConnections(7)
+	admits("and there is none", 9, 1)
+	closeConnections(2) // once too often takes nothing from anyone
 	l.RecordAttempts(now, testRoute, 0, 0, 2)
 	now += time.Second
-	if u := l.Usage(now); len(u.Used)+len(u.UsedBefore)+len(u.Demand) != 0 || len(l.usage) != 0 {
-		t.Errorf("told when nothing stands: %+v, %d paths kept", u, len(l.usage))
+	usage = l.Usage(now)
+	if len(usage.Used)+len(usage.UsedBefore)+len(usage.Demand) != 0 || len(l.usage) != 0 {
+		t.Errorf("reported without connections: %+v, %d paths kept", usage, len(l.usage))
 	}
 }
 
-// All members' even parts together stay within the limit: half of an epoch's tokens and
-// one, and never more standing.
+// All members' even shares together stay within the limit: half of an epoch's tokens and one, and
+// never more connections.
 func TestEvenSharesTogetherStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		holderCount := rapid.IntRange(1, 40).Draw(t, "members")
@@ -138,11 +150,11 @@
 				l, _ := newTestLimiter(t)
 				l.halfEpoch = halfEpoch
 				l.lease = account.QuotaLease{HolderRank: rank, HolderCount: holderCount}
-				rate += l.evenShare("acme", 1, limit/float64(holderCount))
-				connections += l.evenShare("acme", 0, limit/float64(holderCount))
+				rate += l.evenShare("acme", resourceSetups, limit/float64(holderCount))
+				connections += l.evenShare("acme", resourceConnections, limit/float64(holderCount))
 			}
 			if all += rate; rate > limit/2+1 || connections > limit {
-				t.Fatalf("half %d: %v set-ups of %v a second, %v standing", halfEpoch, rate, limit, connections)
+				t.Fatalf("half %d: %v set-ups of %v a second, %v connections", halfEpoch, rate, limit, connections)
 			}
 		}
 		if all < 10*limit-float64(holderCount)-1 {
@@ -151,14 +163,16 @@
 	})
 }
 
-// What a contract's regions have no room for is refused evenly.
+// What a contract's regions have no capacity for is rejected evenly.
 func TestRejectsAContractsExcessEvenly(t *testing.T) {
 	l, now := newTestLimiter(t)
-	r := *testRoute
-	r.Contract, r.RejectedShare = "gold", 0.25
+	route := *testRoute
+	route.Contract, route.RejectedShare = "gold", 0.25
 	for i := range 20 {
-		if ok, over := l.Admit(now, &r, false); ok == (i%4 == 3) || !ok && over != "gold" {
-			t.Errorf("transaction %d: %v, over %q", i, ok, over)
+		want := i%4 != 3
+		ok, full := l.Admit(now, &route, false)
+		if ok != want || !ok && full != "gold" {
+			t.Errorf("session %d: %v, full %q", i, ok, full)
 		}
 	}
 }
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -11,38 +11,84 @@
 	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
-// entries draws routes that may tie, so that more than a checked record holds is tried.
-func drawUpdate(t *rapid.T, label string) (update routeupdate.Update) {
-	words := rapid.SampledFrom([]string{"", "a", "b"})
-	flags := rapid.SampledFrom([]*bool{nil, new(bool), func() *bool { b := true; return &b }()})
-	for i, n := 0, rapid.IntRange(0, 30).Draw(t, label); i < n; i++ {
-		entry := routeupdate.Entry{Name: fmt.Sprintf("r%02d", i), Owner: "acme", Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract")}
-		entry.Match = account.Match{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
-			Returning: flags.Draw(t, "returned"), Retry: flags.Draw(t, "retry")}
-		if entry.Match.Group == "" && rapid.Bool().Draw(t, "ranged") {
-			from := rapid.IntRange(0, 7).Draw(t, "from")
-			entry.Match.HashFrom, entry.Match.HashTo = float64(from)/8, float64(rapid.IntRange(from+1, 8).Draw(t, "to"))/8
-		}
-		update.Set = append(update.Set, entry)
+// drawUpdate draws a complete update of routes that may overlap, so that more is tried than a
+// validated log holds.
+func drawUpdate(t *rapid.T, label string) routeupdate.Update {
+	update := routeupdate.Update{Complete: true}
+	for i, count := 0, rapid.IntRange(0, 30).Draw(t, label); i < count; i++ {
+		update.Set = append(update.Set, drawEntry(t, fmt.Sprintf("r%02d", i)))
 	}
-	for _, c := range []string{"c1", "c2"} {
-		if rapid.Bool().Draw(t, "steered") {
-			update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: c, Shares: map[string]float64{rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"): 1}})
+	for _, contract := range []string{"c1", "c2"} {
+		if rapid.Bool().Draw(t, "allocated") {
+			zone := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone")
+			update.Allocations = append(update.Allocations,
+				routeupdate.Allocation{Contract: contract, Shares: map[string]float64{zone: 1}})
 		}
 	}
-	update.Complete = true
 	return update
 }
 
+func drawEntry(t *rapid.T, name string) routeupdate.Entry {
+	words := rapid.SampledFrom([]string{"", "a", "b"})
+	yes, no := true, false
+	flags := rapid.SampledFrom([]*bool{nil, &no, &yes})
+	entry := routeupdate.Entry{
+		Name:     name,
+		Owner:    "acme",
+		Contract: rapid.SampledFrom([]string{"", "c1", "c2"}).Draw(t, "contract"),
+	}
+	entry.Match = account.Match{
+		Class:     words.Draw(t, "class"),
+		Tenant:    words.Draw(t, "tenant"),
+		Group:     words.Draw(t, "group"),
+		Returning: flags.Draw(t, "returning"),
+		Retry:     flags.Draw(t, "retry"),
+	}
+	if entry.Match.Group == "" && rapid.Bool().Draw(t, "has range") {
+		from := rapid.IntRange(0, 7).Draw(t, "from")
+		to := rapid.IntRange(from+1, 8).Draw(t, "to")
+		entry.Match.HashFrom, entry.Match.HashTo = float64(from)/8, float64(to)/8
+	}
+	return entry
+}
+
+func drawQuery(t *rapid.T) Query {
+	words := rapid.SampledFrom([]string{"", "a", "b", "c"})
+	return Query{
+		Class:     words.Draw(t, "class"),
+		Tenant:    words.Draw(t, "tenant"),
+		Group:     words.Draw(t, "group"),
+		GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "hash")) << 60,
+		Returning: rapid.Bool().Draw(t, "returning"),
+		Retry:     rapid.Bool().Draw(t, "retry"),
+	}
+}
+
 func matches(m account.Match, q Query) bool {
-	place := float64(q.GroupHash) / (1 << 64)
-	return (m.Class == "" || m.Class == q.Class) && (m.Tenant == "" || m.Tenant == q.Tenant) && (m.Group == "" || m.Group == q.Group) &&
-		(m.Returning == nil || *m.Returning == q.Returning) && (m.Retry == nil || *m.Retry == q.Retry) &&
-		(m.HashTo == 0 || q.Group != "" && m.HashFrom <= place && (place < m.HashTo || m.HashTo == 1))
+	hash := float64(q.GroupHash) / (1 << 64)
+	return (m.Class == "" || m.Class == q.Class) &&
+		(m.Tenant == "" || m.Tenant == q.Tenant) &&
+		(m.Group == "" || m.Group == q.Group) &&
+		(m.Returning == nil || *m.Returning == q.Returning) &&
+		(m.Retry == nil || *m.Retry == q.Retry) &&
+		(m.HashTo == 0 || q.Group != "" && m.HashFrom <= hash && (hash < m.HashTo || m.HashTo == 1))
+}
+
+// mostSpecific reads all entries one by one.
+func mostSpecific(entries []routeupdate.Entry, query Query) (found *routeupdate.Entry) {
+	for i := range entries {
+		entry := &entries[i]
+		if !matches(entry.Match, query) {
+			continue
+		}
+		if found == nil || entry.Match.Specificity() > found.Match.Specificity() {
+			found = entry
+		}
+	}
+	return found
 }
 
-// A table finds what reading all routes one by one finds, whether it came whole or by
-// changes.
+// A table finds what reading all routes one by one finds, whether it came complete or by changes.
 func TestFindsTheMostSpecific(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		before, after := drawUpdate(t, "before"), drawUpdate(t, "after")
@@ -59,16 +105,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		words := rapid.SampledFrom([]string{"", "a", "b", "c"})
 		for range 50 {
-			query := Query{Class: words.Draw(t, "class"), Tenant: words.Draw(t, "tenant"), Group: words.Draw(t, "group"),
-				GroupHash: uint64(rapid.IntRange(0, 15).Draw(t, "place")) << 60, Returning: rapid.Bool().Draw(t, "returned"), Retry: rapid.Bool().Draw(t, "retry")}
-			var want *routeupdate.Entry
-			for i := range after.Set {
-				if e := &after.Set[i]; matches(e.Match, query) && (want == nil || e.Match.Specificity() > want.Match.Specificity()) {
-					want = e
-				}
-			}
+			query := drawQuery(t)
+			want := mostSpecific(after.Set, query)
 			for _, table := range []*Table{changed, compiled} {
 				got := table.Find(query)
 				if (got == nil) != (want == nil) || got != nil && got.Path != want.Path() {
@@ -87,12 +126,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	nameless := routeupdate.Entry{Owner: "acme"}
+	emptyRange := routeupdate.Entry{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}
 	for want, update := range map[string]routeupdate.Update{
 		"nothing to change":  {Index: 4, BaseIndex: 3},
 		"changes from 2":     {Index: 4, BaseIndex: 2},
 		"changes from 3 to":  {Index: 2, BaseIndex: 3},
-		"no name":            {Index: 4, BaseIndex: 3, Set: []routeupdate.Entry{{Owner: "acme"}}},
-		`"acme:r": range 1 `: {Complete: true, Set: []routeupdate.Entry{{Owner: "acme", Name: "r", Match: account.Match{HashFrom: 1, HashTo: 0.5}}}},
+		"no name":            {Index: 4, BaseIndex: 3, Set: []routeupdate.Entry{nameless}},
+		`"acme:r": range 1 `: {Complete: true, Set: []routeupdate.Entry{emptyRange}},
 	} {
 		_, err := good.Apply(update)
 		if want == "nothing to change" {
@@ -105,20 +146,20 @@
 }
 
 func TestRouteCountsOnEveryLevelAboveIt(t *testing.T) {
-	table, err := Compile(routeupdate.Update{Complete: true, Set: []routeupdate.Entry{{Owner: "acme/web/eu", Name: "all"}}})
+	entry := routeupdate.Entry{Owner: "acme/web/eu", Name: "all"}
+	table, err := Compile(routeupdate.Update{Complete: true, Set: []routeupdate.Entry{entry}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := table.Find(Query{})
-	if r.Account != "acme" || fmt.Sprint(r.Levels) != "[acme acme/web acme/web/eu acme/web/eu:all]" || r.Bound != nil {
-		t.Errorf("%+v", r)
+	const wantLevels = "[acme acme/web acme/web/eu acme/web/eu:all]"
+	found := table.Find(Query{})
+	if found.Account != "acme" || fmt.Sprint(found.Levels) != wantLevels || found.Bound != nil {
+		t.Errorf("%+v", found)
 	}
 }
 
-var benchmarkResult *Route
-
-// Ranges of matches are in the record, and nodes of other versions find the same routes by
-// them. The places were printed by the code of commit 011f0a6.
+// Ranges of matches are in the replicated log, and nodes of other versions find the same routes by
+// them. The hashes were printed by the code of commit 011f0a6.
 func TestGroupHashesStayTheSameAcrossVersions(t *testing.T) {
 	for group, want := range map[string]uint64{"": 0xecba3df2c3383c52, "a": 0xed8170de1919a24d,
 		"room-17": 0xe25596f4b16e46ef, "grüße": 0x897f0658eac118b5} {
@@ -128,28 +169,15 @@
 	}
 }
 
+// benchmarkResult keeps the compiler from dropping what is measured.
+var benchmarkResult *Route
+
 func BenchmarkFind(b *testing.B) {
-	for _, n := range []int{10, 100, 1000, 10000} {
+	for _, count := range []int{10, 100, 1000, 10000} {
 		update := routeupdate.Update{Complete: true}
 		var queries []Query
-		for i := range n {
-			entry := routeupdate.Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
-			entry.Match.Tenant = fmt.Sprintf("tenant%d.example", i/5)
-			query := Query{Class: "feed", Tenant: entry.Match.Tenant, Group: fmt.Sprint("group", i)}
-			switch i % 5 { // of five routes of a tenant, each is of another rank
-			case 0:
-				entry.Match.Class = "feed"
-				entry.Match.Group = query.Group
-			case 1:
-				entry.Match.Class = "feed"
-				entry.Match.HashFrom, entry.Match.HashTo = 0, 1
-			case 2:
-				entry.Match.Group = query.Group
-			case 3:
-				yes := true
-				entry.Match.Retry = &yes
-			}
-			query.GroupHash = Hash(query.Group)
+		for i := range count {
+			entry, query := benchmarkRoute(i)
 			update.Set, queries = append(update.Set, entry), append(queries, query)
 		}
 		queries = append(queries, Query{Class: "other", Tenant: "nobody", Group: "none"})
@@ -157,7 +185,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		b.Run(fmt.Sprint(n, "routes"), func(b *testing.B) {
+		b.Run(fmt.Sprint(count, "routes"), func(b *testing.B) {
 			b.ReportAllocs()
 			i := 0
 			for b.Loop() {
@@ -167,3 +195,26 @@
 		})
 	}
 }
+
+// benchmarkRoute returns a route and a query that matches it. Of five routes of a tenant, each is
+// of another specificity.
+func benchmarkRoute(i int) (routeupdate.Entry, Query) {
+	entry := routeupdate.Entry{Name: fmt.Sprint("r", i), Owner: fmt.Sprint("acme/team", i%100)}
+	entry.Match.Tenant = fmt.Sprintf("tenant%d.example", i/5)
+	query := Query{Class: "feed", Tenant: entry.Match.Tenant, Group: fmt.Sprint("group", i)}
+	query.GroupHash = Hash(query.Group)
+	switch i % 5 {
+	case 0:
+		entry.Match.Class = "feed"
+		entry.Match.Group = query.Group
+	case 1:
+		entry.Match.Class = "feed"
+		entry.Match.HashFrom, entry.Match.HashTo = 0, 1
+	case 2:
+		entry.Match.Group = query.Group
+	case 3:
+		isRetry := true
+		entry.Match.Retry = &isRetry
+	}
+	return entry, query
+}
