agentapi: tests with one set-up and named steps

The server of both tests is set up in one place; the reassembler's report is compared as a whole, which is stricter. No case or bound changed.

--- a/internal/fleet/agentapi/reassembler_test.go
+++ b/internal/fleet/agentapi/reassembler_test.go
@@ -17,13 +17,19 @@
 func newTestUpdate(routes, removed, allocations int) routeupdate.Update {
 	update := routeupdate.Update{Index: 9, BaseIndex: 4, ReadyEndpoints: map[string]int{"a": 3}}
 	for i := range routes {
-		update.Set = append(update.Set, routeupdate.Entry{Name: fmt.Sprint("route-", i), Owner: "account/team", Match: account.Match{Tenant: fmt.Sprint("tenant-", i)}, AllowedZones: []string{"eu-a", "eu-b"}})
+		update.Set = append(update.Set, routeupdate.Entry{
+			Name:         fmt.Sprint("route-", i),
+			Owner:        "account/team",
+			Match:        account.Match{Tenant: fmt.Sprint("tenant-", i)},
+			AllowedZones: []string{"eu-a", "eu-b"},
+		})
 	}
 	for i := range removed {
 		update.Removed = append(update.Removed, fmt.Sprint("account/team:gone-", i))
 	}
 	for i := range allocations {
-		update.Allocations = append(update.Allocations, routeupdate.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
+		update.Allocations = append(update.Allocations,
+			routeupdate.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
 	}
 	return update
 }
@@ -31,7 +37,8 @@
 func newTestLease(paths int, withEvenShares bool) account.QuotaLease {
 	lease := account.QuotaLease{HalfEpoch: 7, HolderCount: 3, Allocated: map[string]account.Amounts{}}
 	for i := range paths {
-		lease.Allocated[fmt.Sprint("account/team:", i)] = account.Amounts{Connections: -1, Setups: float64(i), Retries: -1, Probes: -1}
+		path := fmt.Sprint("account/team:", i)
+		lease.Allocated[path] = account.Amounts{Connections: -1, Setups: float64(i), Retries: -1, Probes: -1}
 	}
 	if withEvenShares {
 		lease.EvenShares = maps.Clone(lease.Allocated)
@@ -39,58 +46,75 @@
 	return lease
 }
 
-// Whatever is cut comes together again, also where the agent begins anew in between or
-// passes on to something newer; what is incomplete is never used.
+// Whatever is split comes together again, also where the agent starts again in between or passes on
+// to something newer; what is incomplete is never used.
 func TestReassemblesWhatWasSplit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(0, 20)
-		update, lease := newTestUpdate(n.Draw(t, "routes"), n.Draw(t, "gone"), n.Draw(t, "steered")), newTestLease(n.Draw(t, "paths")+1, rapid.Bool().Draw(t, "even"))
-		maxBytes := rapid.IntRange(1, 2000).Draw(t, "most")
-		tables, leases := SplitTable(update, maxBytes), SplitLease(lease, maxBytes)
+		counts := rapid.IntRange(0, 20)
+		update := newTestUpdate(counts.Draw(t, "routes"), counts.Draw(t, "removed"), counts.Draw(t, "allocations"))
+		lease := newTestLease(counts.Draw(t, "paths")+1, rapid.Bool().Draw(t, "even shares"))
+		maxBytes := rapid.IntRange(1, 2000).Draw(t, "max bytes")
+		leases := SplitLease(lease, maxBytes)
 		reassembler := Reassembler{}
-		earlierLease := newTestLease(2, true)
-		reassembler.AddLease(&Response{Lease: &earlierLease, LeaseNumber: 1, LeaseParts: 1})
-		unfinished := Response{Table: &routeupdate.Update{Index: 8, Removed: []string{"of another"}}, TableParts: 2, Lease: &account.QuotaLease{HalfEpoch: 6, Allocated: earlierLease.Allocated}, LeaseNumber: 2, LeaseParts: 2}
+		earlier := newTestLease(2, true)
+		reassembler.AddLease(&Response{Lease: &earlier, LeaseNumber: 1, LeaseParts: 1})
+		unfinished := Response{
+			Table:       &routeupdate.Update{Index: 8, Removed: []string{"of another"}},
+			TableParts:  2,
+			Lease:       &account.QuotaLease{HalfEpoch: 6, Allocated: earlier.Allocated},
+			LeaseNumber: 2,
+			LeaseParts:  2,
+		}
 		reassembler.AddTable(&unfinished)
 		reassembler.AddLease(&unfinished)
-		for i := range tables {
-			response := Response{Table: &tables[i], TableParts: len(tables)}
-			got, ok := reassembler.AddTable(&response)
-			if ok != (i == len(tables)-1) || ok && !reflect.DeepEqual(got, update) {
-				t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(tables), ok, got, update)
-			}
-		}
+		reassembleTable(t, &reassembler, SplitTable(update, maxBytes), update)
 		if lease.EvenShares == nil {
-			lease.EvenShares = earlierLease.EvenShares
+			lease.EvenShares = earlier.EvenShares
 		}
-		for i := range leases {
-			response := Response{Lease: &leases[i], LeaseNumber: 3, LeaseParts: len(leases)}
-			got, ok := reassembler.AddLease(&response)
-			if ok != (i == len(leases)-1) || ok && !reflect.DeepEqual(got, lease) {
-				t.Fatalf("piece %d of %d: %v, %+v, want %+v", i, len(leases), ok, got, lease)
-			}
-		}
-		report := Report{}
-		if reassembler.FillProgress(&report); report.CompleteLeaseNumber != 3 || report.LeaseNumber != 3 || report.LeasePartsReceived != len(leases) || report.PartialTableIndex != 0 {
+		reassembleLease(t, &reassembler, leases, lease)
+		report, want := Report{}, Report{CompleteLeaseNumber: 3, LeaseNumber: 3, LeasePartsReceived: len(leases)}
+		if reassembler.FillProgress(&report); !reflect.DeepEqual(report, want) {
 			t.Fatalf("%+v", report)
 		}
 	})
 }
 
-// The first table and rights of as many routes as an account room keeps pass in answers that
-// the other end reads.
+func reassembleTable(t *rapid.T, reassembler *Reassembler, parts []routeupdate.Update, want routeupdate.Update) {
+	for i := range parts {
+		got, isComplete := reassembler.AddTable(&Response{Table: &parts[i], TableParts: len(parts)})
+		isLast := i == len(parts)-1
+		if isComplete != isLast || isLast && !reflect.DeepEqual(got, want) {
+			t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(parts), isComplete, got, want)
+		}
+	}
+}
+
+// reassembleLease adds a lease of number 3.
+func reassembleLease(t *rapid.T, reassembler *Reassembler, parts []account.QuotaLease, want account.QuotaLease) {
+	for i := range parts {
+		got, isComplete := reassembler.AddLease(&Response{Lease: &parts[i], LeaseNumber: 3, LeaseParts: len(parts)})
+		isLast := i == len(parts)-1
+		if isComplete != isLast || isLast && !reflect.DeepEqual(got, want) {
+			t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(parts), isComplete, got, want)
+		}
+	}
+}
+
+// The first table and lease of as many routes as a tree of accounts holds pass in responses that the
+// other end reads.
 func TestPartsOfTheLargestTableFitALine(t *testing.T) {
 	update, lease := newTestUpdate(16_384, 0, 1000), newTestLease(24_576, true)
 	update.Set[7].Owner = strings.Repeat("o", 30_000)
 	tables, leases := SplitTable(update, MaxPartBytes), SplitLease(lease, MaxPartBytes)
+	var responses []Response
 	for i := range tables {
-		raw, err := json.Marshal(Response{Table: &tables[i]})
-		if err != nil || len(raw) > MaxLineBytes {
-			t.Errorf("%d bytes, %v", len(raw), err)
-		}
+		responses = append(responses, Response{Table: &tables[i]})
 	}
 	for i := range leases {
-		raw, err := json.Marshal(Response{Lease: &leases[i]})
+		responses = append(responses, Response{Lease: &leases[i]})
+	}
+	for _, response := range responses {
+		raw, err := json.Marshal(response)
 		if err != nil || len(raw) > MaxLineBytes {
 			t.Errorf("%d bytes, %v", len(raw), err)
 		}
--- a/internal/fleet/agentapi/server_test.go
+++ b/internal/fleet/agentapi/server_test.go
@@ -12,54 +12,83 @@
 	"coralrelay/balance"
 )
 
-// agent answers with what it is asked.
+// echoAgent answers with what it is sent.
 type echoAgent struct{}
 
-func (echoAgent) HandleReport(s Report) Response {
-	return Response{QuotaLease: balance.QuotaLease{RetryBudget: s.FirstAttempts}}
+func (echoAgent) HandleReport(report Report) Response {
+	return Response{QuotaLease: balance.QuotaLease{RetryBudget: report.FirstAttempts}}
 }
-func (echoAgent) HandleOperator(_ context.Context, a OperatorRequest) (any, error) {
-	if a.Method == "lost" {
+
+func (echoAgent) HandleOperator(_ context.Context, request OperatorRequest) (any, error) {
+	if request.Method == "lost" {
 		return nil, &CallError{Message: "who knows", OutcomeUnknown: true}
 	}
-	return a.Entry, nil
+	return request.Entry, nil
 }
 
-// Whatever others send on the port, and however many they are, a node is answered.
-func TestAnswersANodeBesideIdleAndHostileConnections(t *testing.T) {
+// serveEcho serves an echoAgent until ctx or the test ends. The function it returns ends it, and
+// waits.
+func serveEcho(t *testing.T) (ctx context.Context, addr string, stop func()) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := listener.Addr().String()
 	ctx, cancel := context.WithCancel(t.Context())
 	served := make(chan error, 1)
 	go func() { served <- Serve(ctx, listener, echoAgent{}) }()
-	responses, disconnects := make(chan Response, 100), make(chan error, 100)
-	node := &Client{Addr: addr, MakeReport: func() (s Report) { s.FirstAttempts = 3; return s },
-		HandleResponse: func(response Response) { responses <- response }, OnDisconnect: func(err error) { disconnects <- err }}
-	ended := make(chan struct{})
-	go func() { defer close(ended); node.Run(ctx) }()
-	<-responses
-	var conns []net.Conn
-	for range 2 * maxConnections { // silent ones, of which some are sent away
+	return ctx, listener.Addr().String(), func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// dialMany opens so many connections that some are closed at once.
+func dialMany(t *testing.T, addr string) (conns []net.Conn) {
+	t.Helper()
+	for range 2 * maxConnections {
 		conn, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		conns = append(conns, conn)
 	}
-	_ = conns[len(conns)-1].SetReadDeadline(time.Now().Add(5 * time.Second))
-	if n, err := conns[len(conns)-1].Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("one too many reads %d bytes, %v", n, err)
-	}
-	endless := []byte(strings.Repeat("x", 64<<10))
-	for n := 0; n <= 2*MaxLineBytes+8<<20; n += len(endless) {
-		if _, err = conns[0].Write(endless); err != nil {
-			break
+	return conns
+}
+
+// writeEndlessLine writes until the other end has had enough, and returns that error.
+func writeEndlessLine(conn net.Conn) error {
+	chunk := []byte(strings.Repeat("x", 64<<10))
+	for written := 0; written <= 2*MaxLineBytes+8<<20; written += len(chunk) {
+		if _, err := conn.Write(chunk); err != nil {
+			return err
 		}
 	}
-	if err == nil {
+	return nil
+}
+
+// Whatever others send on the port, and however many they are, a node is answered.
+func TestAnswersANodeBesideIdleAndHostileConnections(t *testing.T) {
+	ctx, addr, stop := serveEcho(t)
+	responses, disconnects := make(chan Response, 100), make(chan error, 100)
+	node := &Client{
+		Addr:           addr,
+		MakeReport:     func() (report Report) { report.FirstAttempts = 3; return report },
+		HandleResponse: func(response Response) { responses <- response },
+		OnDisconnect:   func(err error) { disconnects <- err },
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); node.Run(ctx) }()
+	<-responses
+	conns := dialMany(t, addr)
+	last := conns[len(conns)-1]
+	_ = last.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := last.Read(make([]byte, 1)); n != 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("one too many reads %d bytes, %v", n, err)
+	}
+	if writeEndlessLine(conns[0]) == nil {
 		t.Error("a line without an end is taken")
 	}
 	for range cap(responses) {
@@ -74,37 +103,26 @@
 		_ = conn.Close()
 	}
 	if len(disconnects) > 0 {
-		t.Errorf("the node was let go: %v", <-disconnects)
-	}
-	cancel()
-	if err := <-served; err != nil {
-		t.Error(err)
+		t.Errorf("the node was disconnected: %v", <-disconnects)
 	}
+	stop()
 	<-ended
 }
 
 func TestCallReturnsTheAgentsErrors(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := listener.Addr().String()
-	ctx, cancel := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- Serve(ctx, listener, echoAgent{}) }()
+	_, addr, stop := serveEcho(t)
 	var got []int
 	if err := Call(addr, OperatorRequest{Method: "echo", Entry: []byte("[1,2]")}, &got); err != nil || len(got) != 2 {
 		t.Errorf("%v, %v", got, err)
 	}
+	want := CallError{Message: "who knows", OutcomeUnknown: true}
 	var callError *CallError
-	if err := Call(addr, OperatorRequest{Method: "lost"}, &got); !errors.As(err, &callError) || !callError.OutcomeUnknown || callError.Message != "who knows" {
+	if err := Call(addr, OperatorRequest{Method: "lost"}, &got); !errors.As(err, &callError) || *callError != want {
 		t.Errorf("%v", err)
 	}
-	cancel()
-	if err := <-served; err != nil {
-		t.Error(err)
-	}
-	if err := Call(addr, OperatorRequest{Method: "echo"}, &got); err == nil || !strings.Contains(err.Error(), "fleet agent") {
+	stop()
+	err := Call(addr, OperatorRequest{Method: "echo"}, &got)
+	if err == nil || !strings.Contains(err.Error(), "fleet agent") {
 		t.Errorf("%v", err)
 	}
 }
