--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -27,7 +27,8 @@
 				ColdBudget: 105.5, Used: 106, RecentAttempts: 107.5, RecentFailures: 108.5}},
 			Zones: []balance.ZoneUsage{{Zone: "zone-b", Used: 109}},
 		},
-		TableIndex: 110, PartialTableIndex: 111, TablePartsReceived: 112, LeaseNumber: 113, LeasePartsReceived: 114, CompleteLeaseNumber: 115,
+		TableIndex: 110, PartialTableIndex: 111, TablePartsReceived: 112,
+		LeaseNumber: 113, LeasePartsReceived: 114, CompleteLeaseNumber: 115,
 		Usage: &account.Usage{Member: "node-a", ReportedAt: 116, HalfEpoch: 117,
 			Used:       map[string]account.Amounts{"acme": {Connections: 118, Setups: 119, Retries: 120, Probes: 121}},
 			UsedBefore: map[string]account.Amounts{"acme/web": {Connections: 122, Setups: 123, Retries: 124, Probes: 125}},
@@ -43,24 +44,28 @@
 	returned, retry := true, true
 	return Response{
 		QuotaLease: balance.QuotaLease{
-			Period: 201, TokensExpireAt: 202, LeaseDuration: 203, RetryBudget: 204.5, EjectedServers: []string{"server-a", "server-b"}, ShedFraction: 0.25,
+			Period: 201, TokensExpireAt: 202, LeaseDuration: 203, RetryBudget: 204.5,
+			EjectedServers: []string{"server-a", "server-b"}, ShedFraction: 0.25,
 			Servers: []balance.ServerQuota{{ID: "server-c", StartedAt: 205, Tokens: 206}},
 			Zones:   []balance.ZoneQuota{{Zone: "zone-a", Share: 0.5, Tokens: 207}},
 		},
 		Table: &routeupdate.Update{Index: 208, Complete: true, BaseIndex: 209,
 			Set: []routeupdate.Entry{{Name: "r", Owner: "acme/web",
-				Match:        account.Match{Class: "class-a", Tenant: "tenant-a", Group: "group-a", HashFrom: 0.125, HashTo: 0.75, Returning: &returned, Retry: &retry},
+				Match: account.Match{Class: "class-a", Tenant: "tenant-a", Group: "group-a", HashFrom: 0.125, HashTo: 0.75,
+					Returning: &returned, Retry: &retry},
 				ZoneShares:   []account.ZoneShare{{Zone: "zone-b", Percent: 60}, {Zone: "zone-c", Percent: 40}},
 				AllowedZones: []string{"zone-d", "zone-e"}, Contract: "contract-a"}},
-			Removed:        []string{"acme/web:gone"},
-			Allocations:    []routeupdate.Allocation{{Contract: "contract-b", Shares: map[string]float64{"zone-b": 0.625, "zone-c": 0.375}, RejectedShare: 0.0625}},
+			Removed: []string{"acme/web:gone"},
+			Allocations: []routeupdate.Allocation{{Contract: "contract-b",
+				Shares: map[string]float64{"zone-b": 0.625, "zone-c": 0.375}, RejectedShare: 0.0625}},
 			ReadyEndpoints: map[string]int{"zone-b": 210, "zone-c": 211}},
 		TableParts: 212,
 		Lease: &account.QuotaLease{HalfEpoch: 213, ExpiresAt: 214, HolderRank: 215, HolderCount: 216,
 			Allocated:  map[string]account.Amounts{"acme": {Connections: 217, Setups: 218, Retries: 219, Probes: 220}},
 			EvenShares: map[string]account.Amounts{"acme/web": {Connections: -1, Setups: 221, Retries: 222, Probes: 223}}},
 		LeaseNumber: 224, LeaseParts: 225, More: true,
-		Contracts: &ContractList{Version: 226, Contracts: []Contract{{Name: "contract-c", Priority: 227, MeasuresMessages: true}}},
+		Contracts: &ContractList{Version: 226,
+			Contracts: []Contract{{Name: "contract-c", Priority: 227, MeasuresMessages: true}}},
 	}
 }
 
@@ -74,11 +79,14 @@
 
 func storedState() State {
 	return State{
-		Name: "node-a", Zone: "zone-a", Log: "on", Index: 401, Hash: "00ff", Role: "voter", Leader: "node-b", WithinLease: true,
+		Name: "node-a", Zone: "zone-a", Log: "on", Index: 401, Hash: "00ff",
+		Role: "voter", Leader: "node-b", WithinLease: true,
 		LastContactMillis: 402, DiskError: "full", ZonesVersion: 403, RejectedShare: 0.25,
-		ZoneStatuses: []ZoneStatus{{ObservingZone: "zone-b", Zone: "zone-c", Status: "returning", Share: 0.5, Step: 404, Rate: 405.5, ChangedAtMillis: 406, RetryAtMillis: 407, Failures: 408}},
-		ZoneLimits:   []ZoneLimit{{Zone: "zone-d", Share: 0.75, Rate: 409.5}},
-		Members:      []Member{{Name: "node-c", Zone: "zone-e", Status: "alive", LogAddr: "127.0.0.1:1", Index: 410, ReportedAtMillis: 411}},
+		ZoneStatuses: []ZoneStatus{{ObservingZone: "zone-b", Zone: "zone-c", Status: "returning",
+			Share: 0.5, Step: 404, Rate: 405.5, ChangedAtMillis: 406, RetryAtMillis: 407, Failures: 408}},
+		ZoneLimits: []ZoneLimit{{Zone: "zone-d", Share: 0.75, Rate: 409.5}},
+		Members: []Member{{Name: "node-c", Zone: "zone-e", Status: "alive",
+			LogAddr: "127.0.0.1:1", Index: 410, ReportedAtMillis: 411}},
 	}
 }
 
@@ -90,7 +98,7 @@
 	storedtest.AssertJSON(t, "state.json", storedState())
 }
 
-// storedAgent takes the stored lines alone, and answers with stored ones.
+// storedAgent expects the stored lines, and answers with stored ones.
 type storedAgent struct{ t *testing.T }
 
 func (a storedAgent) HandleReport(report Report) Response {
@@ -108,7 +116,7 @@
 	return nil, &callError
 }
 
-// The agent tells nodes' lines from operators' by what stands in them.
+// Nodes' lines are told from operators' by what stands in them.
 func TestStoredLinesAreServed(t *testing.T) {
 	client, agent := net.Pipe()
 	defer func() { _ = client.Close() }()
