--- a/internal/fleet/account/account_test.go
+++ b/internal/fleet/account/account_test.go
@@ -139,19 +139,19 @@
 		t.Errorf("another route: %v", err)
 	}
 	if _, err := s.Apply(putR, testKey(2)); err == nil {
-		t.Error("an entry was taken twice")
+		t.Error("an entry was accepted twice")
 	}
 	deleteR := Change{BaseVersion: s.Version, Ops: []Op{{Kind: DeleteRoute, Path: "acme/web", Name: "r"}}}
 	if s, err = s.Apply(deleteR, testKey(2)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := s.Apply(putR, testKey(2)); err == nil {
-		t.Error("an entry was taken again after its route had been deleted")
+		t.Error("an entry was accepted again after its route had been deleted")
 	}
 	exclusive := Change{BaseVersion: base, RequireUnchanged: true,
 		Ops: []Op{putRouteOp("acme/shop", "t", Match{Class: "y"})}}
 	if _, err := s.Apply(exclusive, testKey(1)); err == nil {
-		t.Error("taken on an older version of the whole")
+		t.Error("accepted on an older version of the state")
 	}
 }
 
--- a/internal/fleet/account/change.go
+++ b/internal/fleet/account/change.go
@@ -11,14 +11,14 @@
 // BaseVersion is the State's Version that its author saw. Nothing that the change touches may have
 // changed since: a node, route or grant that exists, or, for one that is new, that its parent was
 // created or has lost a child. So changes to different objects do not conflict, and an entry that
-// was taken once can never be taken again.
+// was accepted once can never be accepted again.
 type Change struct {
 	BaseVersion      uint64 `json:"base"`
 	RequireUnchanged bool   `json:"whole,omitempty"` // nothing at all may have changed since BaseVersion
 	Ops              []Op   `json:"ops"`
 }
 
-// OpKind is what an Op does. The words stand in the replicated log and stay as they are.
+// OpKind is what an Op does. The words are in stored logs and stay as they are.
 type OpKind string
 
 // The operations, with the fields that each reads besides Kind and ExpectedVersion.
@@ -51,7 +51,7 @@
 	Grant           *Grant `json:"grant,omitempty"`
 }
 
-// OpError says which operation of a change can't be taken, and why.
+// OpError says which operation of a change can't be accepted, and why.
 type OpError struct {
 	Number int // from 1
 	Kind   OpKind
@@ -63,7 +63,7 @@
 	return fmt.Sprintf("operation %d, %.20q on %.80q: %v", e.Number, string(e.Kind), e.Path, e.Err)
 }
 
-// Unwrap returns why the operation can't be taken.
+// Unwrap returns why the operation can't be accepted.
 func (e *OpError) Unwrap() error { return e.Err }
 
 // draft is a state under change: its maps are its own, what they hold is not.
@@ -89,7 +89,7 @@
 }
 
 // Apply returns the state after a change by the holder of a key, or the state as it is and why
-// the change is not taken: an *OpError where one operation is at fault.
+// the change is not accepted: an *OpError where one operation is at fault.
 func (s State) Apply(change Change, authorKey string) (State, error) {
 	if err := s.checkBase(change); err != nil {
 		return s, err
--- a/internal/fleet/account/grants.go
+++ b/internal/fleet/account/grants.go
@@ -20,8 +20,8 @@
 
 // findGrant returns the first suitable one of a key's grants, by path, that covers a path; nil for
 // the root, who needs none. The empty path, above all accounts, is the root's alone. The error
-// names what was asked for.
-func (s State) findGrant(key, path string, isSuitable func(*Grant) bool, asked string) (*Grant, error) {
+// names the permission.
+func (s State) findGrant(key, path string, isSuitable func(*Grant) bool, permission string) (*Grant, error) {
 	if s.isRootKey(key) {
 		return nil, nil
 	}
@@ -38,7 +38,7 @@
 		return nil, fmt.Errorf("key %.40q: only the root may do this to accounts", key)
 	}
 	if best == nil {
-		return nil, fmt.Errorf("key %.40q: has no grant of %s on %q", key, asked, path)
+		return nil, fmt.Errorf("key %.40q: has no grant of %s on %q", key, permission, path)
 	}
 	return best, nil
 }
@@ -62,7 +62,7 @@
 	if err := d.checkNewGrant(op, &grant); err != nil {
 		return err
 	}
-	canDelegate := func(held *Grant) bool { return held.canDelegate(&grant) }
+	canDelegate := func(candidate *Grant) bool { return candidate.canDelegate(&grant) }
 	parentGrant, err := d.findGrant(d.authorKey, grant.Path, canDelegate,
 		"grants with all that it hands on, and depth left,")
 	if err != nil {
--- a/internal/fleet/account/invariants_test.go
+++ b/internal/fleet/account/invariants_test.go
@@ -12,7 +12,7 @@
 )
 
 // After whatever changes, by whom and in whatever order, limits hold, no grant's line of delegation
-// is broken, no routes overlap; a change is taken completely or not at all, once, and nothing
+// is broken, no routes overlap; a change is accepted completely or not at all, once, and nothing
 // outside the subtrees of its author's grants is changed by it. The state survives JSON.
 func TestAnySequenceOfChangesKeepsTheTreeValid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	if _, err := after.Apply(change, author); err == nil {
-		t.Fatal("taken twice")
+		t.Fatal("accepted twice")
 	}
 	checkOnlyReachableChanged(t, s, after, author)
 	raw, _ := json.Marshal(after)
--- a/internal/fleet/account/state.go
+++ b/internal/fleet/account/state.go
@@ -13,7 +13,7 @@
 // State is the tree of accounts with their routes and grants. It is never changed in place:
 // readers may keep it, and must not change what its maps hold.
 type State struct {
-	Version               uint64            `json:"version"` // counts the changes taken
+	Version               uint64            `json:"version"` // counts the changes that were accepted
 	RootKey               []byte            `json:"root,omitempty"`
 	Nodes                 map[string]*Node  `json:"nodes,omitempty"`   // by path, such as acme/web/eu
 	Routes                map[string]*Route `json:"routes,omitempty"`  // by Route.Path
--- a/internal/fleet/agentapi/stored_test.go
+++ b/internal/fleet/agentapi/stored_test.go
@@ -116,7 +116,7 @@
 	return nil, &callError
 }
 
-// Nodes' lines are told from operators' by what stands in them.
+// The server distinguishes nodes' lines from operators' by their keys.
 func TestStoredLinesAreServed(t *testing.T) {
 	client, agent := net.Pipe()
 	defer func() { _ = client.Close() }()
