--- /dev/null
+++ b/internal/fleet/agentapi/reassembler_test.go
@@ -0,0 +1,125 @@
+package agentapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
+)
+
+func newTestUpdate(routes, removed, allocations int) routeupdate.Update {
+	update := routeupdate.Update{Index: 9, BaseIndex: 4, ReadyEndpoints: map[string]int{"a": 3}}
+	for i := range routes {
+		update.Set = append(update.Set, routeupdate.Entry{
+			Name:         fmt.Sprint("route-", i),
+			Owner:        "account/team",
+			Match:        account.Match{Tenant: fmt.Sprint("tenant-", i)},
+			AllowedZones: []string{"eu-a", "eu-b"},
+		})
+	}
+	for i := range removed {
+		update.Removed = append(update.Removed, fmt.Sprint("account/team:gone-", i))
+	}
+	for i := range allocations {
+		update.Allocations = append(update.Allocations,
+			routeupdate.Allocation{Contract: fmt.Sprint("c", i), Shares: map[string]float64{"eu-a": 1}})
+	}
+	return update
+}
+
+func newTestLease(paths int, withEvenShares bool) account.QuotaLease {
+	lease := account.QuotaLease{HalfEpoch: 7, HolderCount: 3, Allocated: map[string]account.Amounts{}}
+	for i := range paths {
+		path := fmt.Sprint("account/team:", i)
+		lease.Allocated[path] = account.Amounts{Connections: -1, Setups: float64(i), Retries: -1, Probes: -1}
+	}
+	if withEvenShares {
+		lease.EvenShares = maps.Clone(lease.Allocated)
+	}
+	return lease
+}
+
+// Whatever is split comes together again, also where the agent starts again in between or passes on
+// to something newer; what is incomplete is never used.
+func TestReassemblesWhatWasSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		counts := rapid.IntRange(0, 20)
+		update := newTestUpdate(counts.Draw(t, "routes"), counts.Draw(t, "removed"), counts.Draw(t, "allocations"))
+		lease := newTestLease(counts.Draw(t, "paths")+1, rapid.Bool().Draw(t, "even shares"))
+		maxBytes := rapid.IntRange(1, 2000).Draw(t, "max bytes")
+		leases := SplitLease(lease, maxBytes)
+		reassembler := Reassembler{}
+		earlier := newTestLease(2, true)
+		reassembler.AddLease(&Response{Lease: &earlier, LeaseNumber: 1, LeaseParts: 1})
+		unfinished := Response{
+			Table:       &routeupdate.Update{Index: 8, Removed: []string{"of another"}},
+			TableParts:  2,
+			Lease:       &account.QuotaLease{HalfEpoch: 6, Allocated: earlier.Allocated},
+			LeaseNumber: 2,
+			LeaseParts:  2,
+		}
+		reassembler.AddTable(&unfinished)
+		reassembler.AddLease(&unfinished)
+		reassembleTable(t, &reassembler, SplitTable(update, maxBytes), update)
+		if lease.EvenShares == nil {
+			lease.EvenShares = earlier.EvenShares
+		}
+		reassembleLease(t, &reassembler, leases, lease)
+		report, want := Report{}, Report{CompleteLeaseNumber: 3, LeaseNumber: 3, LeasePartsReceived: len(leases)}
+		if reassembler.FillProgress(&report); !reflect.DeepEqual(report, want) {
+			t.Fatalf("%+v", report)
+		}
+	})
+}
+
+func reassembleTable(t *rapid.T, reassembler *Reassembler, parts []routeupdate.Update, want routeupdate.Update) {
+	for i := range parts {
+		got, isComplete := reassembler.AddTable(&Response{Table: &parts[i], TableParts: len(parts)})
+		isLast := i == len(parts)-1
+		if isComplete != isLast || isLast && !reflect.DeepEqual(got, want) {
+			t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(parts), isComplete, got, want)
+		}
+	}
+}
+
+// reassembleLease adds a lease of number 3.
+func reassembleLease(t *rapid.T, reassembler *Reassembler, parts []account.QuotaLease, want account.QuotaLease) {
+	for i := range parts {
+		got, isComplete := reassembler.AddLease(&Response{Lease: &parts[i], LeaseNumber: 3, LeaseParts: len(parts)})
+		isLast := i == len(parts)-1
+		if isComplete != isLast || isLast && !reflect.DeepEqual(got, want) {
+			t.Fatalf("part %d of %d: %v, %+v, want %+v", i, len(parts), isComplete, got, want)
+		}
+	}
+}
+
+// The first table and lease of as many routes as a tree of accounts holds pass in responses that the
+// other end reads.
+func TestPartsOfTheLargestTableFitALine(t *testing.T) {
+	update, lease := newTestUpdate(16_384, 0, 1000), newTestLease(24_576, true)
+	update.Set[7].Owner = strings.Repeat("o", 30_000)
+	tables, leases := SplitTable(update, MaxPartBytes), SplitLease(lease, MaxPartBytes)
+	var responses []Response
+	for i := range tables {
+		responses = append(responses, Response{Table: &tables[i]})
+	}
+	for i := range leases {
+		responses = append(responses, Response{Lease: &leases[i]})
+	}
+	for _, response := range responses {
+		raw, err := json.Marshal(response)
+		if err != nil || len(raw) > MaxLineBytes {
+			t.Errorf("%d bytes, %v", len(raw), err)
+		}
+	}
+	if len(tables) < 2 || len(leases) < 2 {
+		t.Errorf("%d and %d parts", len(tables), len(leases))
+	}
+}
