Package zonestatus: one job a file, one step a function

Kinds of conditions, step outcomes and thresholds are named constants, [2]string keys are zonePair. Comments are rewritten. Texts of errors and reasons, JSON, order of evaluation and numbers are as before. go test of the package passed.

--- a/internal/fleet/zonestatus/evacuate.go
+++ b/internal/fleet/zonestatus/evacuate.go
@@ -6,9 +6,12 @@
 	"strings"
 )
 
-// leave drafts what is left now: each zone from all that have lost it at once.
+// degradedFraction is the failing fraction from which on a zone counts as degrading.
+const degradedFraction = 0.5
+
+// evacuate drafts what is evacuated now: each zone from all observing zones at once.
 func (c *Controller) evacuate(view *fleetView, draft *changeDraft) {
-	candidatesByObserver := make([][]int, len(view.zones)) // what each zone would leave
+	candidatesByObserver := make([][]int, len(view.zones)) // what each zone would evacuate
 	for to := range view.zones {
 		for _, from := range c.observersToEvacuate(view, draft, to) {
 			candidatesByObserver[from] = append(candidatesByObserver[from], to)
@@ -37,41 +40,43 @@
 	c.updateSuspects(view, draft, kept)
 }
 
-// accusers are the zones that leave one now. The first to have seen it for long enough
-// takes along those that see it, those that are about to are waited for a little, and
-// those that can't tell follow where it fails for everybody.
+// observersToEvacuate returns the zones that evacuate one now. Once the first has observed the
+// failure for the ConfirmInterval, all that observe it evacuate together. While others see the
+// zone degrade, they are waited for a little; those that don't know follow if it fails for most.
 func (c *Controller) observersToEvacuate(view *fleetView, draft *changeDraft, to int) (observers []int) {
 	longest, othersDegrading := c.cfg.ConfirmInterval-1, false
-	for observer := range view.zones {
-		if !view.hasMembers[observer] {
+	for from, observer := range view.zones {
+		if !view.hasMembers[from] {
 			continue
 		}
-		evidence := view.pair(observer, to)
-		unavailableFor := c.heldFor(draft.now, view.zones[observer], view.zones[to], 'l', evidence.unavailable)
-		switch pair := draft.base.pair(view.zones[observer], view.zones[to]); {
+		evidence := view.pair(from, to)
+		unavailableFor := c.heldFor(draft.now, observer, view.zones[to], zoneUnavailable, evidence.unavailable)
+		switch pair := draft.base.pair(observer, view.zones[to]); {
 		case pair.Status.isEvacuated():
 		case evidence.unavailable:
-			observers, longest = append(observers, observer), max(longest, unavailableFor)
-		case evidence.known && evidence.failing >= 0.5:
+			observers, longest = append(observers, from), max(longest, unavailableFor)
+		case evidence.known && evidence.failing >= degradedFraction:
 			othersDegrading = true
 		}
 	}
 	if len(observers) == 0 || longest < c.cfg.ConfirmInterval || othersDegrading && longest < 2*c.cfg.ConfirmInterval {
 		return nil
 	}
-	if view.failsForMost(to) {
-		for observer := range view.zones {
-			evidence := view.pair(observer, to)
-			if view.hasMembers[observer] && !evidence.known && !evidence.unavailable && !draft.base.pair(view.zones[observer], view.zones[to]).Status.isEvacuated() {
-				observers = append(observers, observer)
-			}
+	if !view.failsForMost(to) {
+		return observers
+	}
+	for from, observer := range view.zones {
+		evidence := view.pair(from, to)
+		knows := evidence.known || evidence.unavailable
+		if view.hasMembers[from] && !knows && !draft.base.pair(observer, view.zones[to]).Status.isEvacuated() {
+			observers = append(observers, from)
 		}
 	}
 	return observers
 }
 
-// carried is the panic rule: of the zones that one would leave, those that it may, the
-// surest first, and never the last one.
+// limitEvacuations is the panic threshold: of the zones that one would evacuate it returns
+// those that it may, the surest first, and never the last one.
 func (c *Controller) limitEvacuations(view *fleetView, draft *changeDraft, from int, candidates []int) []int {
 	if c.committed != nil {
 		candidates = c.limitToOneUnit(view, draft, from, candidates)
@@ -80,66 +85,83 @@
 		return candidates
 	}
 	surest := slices.Clone(candidates)
-	slices.SortFunc(surest, func(a, b int) int {
-		isOwnZone := func(zone int) int {
-			if zone == from {
-				return 1
-			}
-			return 0
-		}
-		return cmp.Or(cmp.Compare(view.unavailableCount(b), view.unavailableCount(a)), cmp.Compare(isOwnZone(a), isOwnZone(b)),
-			cmp.Compare(view.pair(from, b).failing, view.pair(from, a).failing), strings.Compare(view.zones[a], view.zones[b]))
-	})
+	slices.SortFunc(surest, func(a, b int) int { return view.compareSurest(from, a, b) })
 	remaining := c.cfg.maxEvacuatedZones(len(view.zones)) - draft.base.evacuatedCount(view.zones[from])
 	return slices.DeleteFunc(surest, func(to int) bool {
 		if draft.base.pair(view.zones[from], view.zones[to]).Status == Recovering {
-			return false // counted as left already
+			return false // counted as evacuated already
 		}
 		remaining--
 		return remaining < 0
 	})
 }
 
-// losers is how many zones have lost one.
-func (v *fleetView) unavailableCount(to int) (n int) {
-	for from := range v.zones {
-		if v.pair(from, to).unavailable {
-			n++
+// compareSurest orders zones that one would evacuate: those that are unavailable to most zones
+// first, the observing zone itself after others, then those of which most fails.
+func (v *fleetView) compareSurest(from, a, b int) int {
+	isOwnZone := func(zone int) int {
+		if zone == from {
+			return 1
 		}
+		return 0
 	}
-	return n
+	return cmp.Or(
+		cmp.Compare(v.unavailableCount(b), v.unavailableCount(a)),
+		cmp.Compare(isOwnZone(a), isOwnZone(b)),
+		cmp.Compare(v.pair(from, b).failing, v.pair(from, a).failing),
+		strings.Compare(v.zones[a], v.zones[b]),
+	)
 }
 
-// suspect names what the panic rule keeps, and takes the name back.
+// updateSuspects marks what the panic threshold keeps (by zone, the observing zones) as
+// Suspect, and makes suspects Active again that have recovered.
 func (c *Controller) updateSuspects(view *fleetView, draft *changeDraft, kept [][]string) {
-	draft.deferrable, draft.deferrableAllowed = true, draft.elapsedSince(draft.lastChangeAt) >= c.cfg.StableInterval
+	draft.deferrable = true
+	draft.deferrableAllowed = draft.elapsedSince(draft.lastChangeAt) >= c.cfg.StableInterval
 	defer func() { draft.deferrable = false }()
 	for to, zone := range view.zones {
 		var suspecting []string
 		for _, from := range kept[to] {
-			if pair := draft.base.pair(from, zone); pair.Status == Active {
-				pair.Status = Suspect
-				if draft.set(pair) {
-					suspecting = append(suspecting, from)
-				}
+			pair := draft.base.pair(from, zone)
+			if pair.Status != Active {
+				continue
+			}
+			pair.Status = Suspect
+			if draft.set(pair) {
+				suspecting = append(suspecting, from)
 			}
 		}
 		draft.addReason(zone, "serves nobody, and is kept for want of others", suspecting)
 	}
 	for _, pair := range draft.base.Pairs {
 		recovered := pair.Status == Suspect && !view.isUnavailable(pair.From, pair.To)
-		if c.heldFor(draft.now, pair.From, pair.To, 's', recovered) >= c.cfg.StableInterval {
-			pair.Status = Active
-			if draft.set(pair) {
-				draft.addReason(pair.To, "is suspect no more", []string{pair.From})
-			}
+		if c.heldFor(draft.now, pair.From, pair.To, suspectRecovered, recovered) < c.cfg.StableInterval {
+			continue
+		}
+		pair.Status = Active
+		if draft.set(pair) {
+			draft.addReason(pair.To, "is suspect no more", []string{pair.From})
 		}
 	}
 }
 
-// lost tells whether a zone has lost another, by names.
-func (v *fleetView) isUnavailable(from, to string) bool {
-	fromIndex, fromKnown := slices.BinarySearch(v.zones, from)
-	toIndex, toKnown := slices.BinarySearch(v.zones, to)
-	return fromKnown && toKnown && v.pair(fromIndex, toIndex).unavailable
+// finishEvacuations turns Evacuating into Evacuated, or HeldBack after repeated failures, once
+// all nodes must have received it.
+func (c *Controller) finishEvacuations(draft *changeDraft) {
+	var evacuated []string
+	for _, pair := range draft.base.Pairs {
+		if pair.Status != Evacuating || draft.elapsedSince(pair.ChangedAt) < c.cfg.EvacuationTimeout {
+			continue
+		}
+		next := PairStatus{From: pair.From, To: pair.To, Status: Evacuated, Failures: pair.Failures}
+		if hold := c.cfg.holdInterval(pair.Failures); hold > 0 {
+			next.Status, next.HeldUntil = HeldBack, (draft.now + hold).Milliseconds()
+		}
+		if draft.set(next) {
+			evacuated = append(evacuated, pair.From+" to "+pair.To)
+		}
+	}
+	if len(evacuated) > 0 {
+		draft.reasons = append(draft.reasons, "left by all: "+strings.Join(evacuated, ", "))
+	}
 }
--- a/internal/fleet/zonestatus/isolated.go
+++ b/internal/fleet/zonestatus/isolated.go
@@ -2,50 +2,57 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
-// Alone is the decider of a member that does not hear the record: it keeps to the last
-// committed state, and leaves more by its own evidence, one zone or region at most and
-// never its own. It goes back to the record's word as soon as it hears: a new version of
-// the state, or a pause in the calls, makes it forget. It is not safe for concurrent use.
+// isolatedConfirmFactor is how many times the ConfirmInterval an isolated member waits, as no
+// other member confirms what it observes.
+const isolatedConfirmFactor = 3
+
+// IsolatedController decides for a member that does not receive the replicated log. It keeps
+// to the last committed state and evacuates, on the member's own evidence, one more zone or
+// region at most and never the member's own. A new version of the state or a pause between
+// calls makes it forget what it added. It is not safe for concurrent use.
 type IsolatedController struct {
 	DisabledGuards Guards
 
 	cfg             Config
 	controller      *Controller
-	committed       State // the record's
-	local           State // and what this member has added
+	committed       State // the replicated state
+	local           State // with what this member has added
 	lastEvaluatedAt time.Duration
 }
 
-// witnesses is how many times Confirm one member waits, as nobody agrees with it.
-const isolatedConfirmFactor = 3
-
-// NewAlone returns the decider of a member that has seen nothing yet.
+// NewIsolatedController returns a controller that has seen nothing yet.
 func NewIsolatedController(cfg Config) *IsolatedController {
 	cfg = cfg.withDefaults()
 	cfg.ConfirmInterval *= isolatedConfirmFactor
 	return &IsolatedController{cfg: cfg}
 }
 
-// Step returns what a node of the member's zone may send others: never more than the
-// state says.
+// Evaluate returns what a node of the member's zone may send others, by zone: never more than
+// the committed state allows. now is Unix time.
 func (c *IsolatedController) Evaluate(now time.Duration, state State, report Report) []TrafficLimit {
-	if c.controller == nil || state.Version != c.committed.Version || now-c.lastEvaluatedAt > c.cfg.ReportTTL || now < c.lastEvaluatedAt {
+	hasPaused := now-c.lastEvaluatedAt > c.cfg.ReportTTL || now < c.lastEvaluatedAt
+	if c.controller == nil || state.Version != c.committed.Version || hasPaused {
 		c.controller, c.committed, c.local = NewController(c.cfg), state, state
 		c.controller.committed = &c.committed
 	}
 	c.lastEvaluatedAt = now
 	c.controller.DisabledGuards = c.DisabledGuards
-	change, _, ok := c.controller.Evaluate(now, c.local, []Report{report}, []Member{{Name: report.Member, Zone: report.Zone, Alive: true}})
-	if ok {
+	self := Member{Name: report.Member, Zone: report.Zone, Alive: true}
+	if change, _, ok := c.controller.Evaluate(now, c.local, []Report{report}, []Member{self}); ok {
 		if next, err := c.local.Apply(c.cfg, change); err == nil {
 			c.local = next
 		}
 	}
-	limits := state.TrafficLimits(report.Zone)
-	for _, limit := range c.local.TrafficLimits(report.Zone) {
+	return strictest(state.TrafficLimits(report.Zone), c.local.TrafficLimits(report.Zone))
+}
+
+// strictest returns the limits of both lists, for each zone the one with the lower share.
+func strictest(limits, added []TrafficLimit) []TrafficLimit {
+	for _, limit := range added {
 		index := slices.IndexFunc(limits, func(other TrafficLimit) bool { return other.Zone == limit.Zone })
 		switch {
 		case index < 0:
@@ -54,24 +61,17 @@
 			limits[index] = limit
 		}
 	}
-	slices.SortFunc(limits, func(x, y TrafficLimit) int { return comparePairs(PairStatus{From: x.Zone}, PairStatus{From: y.Zone}) })
+	slices.SortFunc(limits, func(a, b TrafficLimit) int { return strings.Compare(a.Zone, b.Zone) })
 	return limits
 }
 
-// oneUnit keeps, of what a member alone would leave, one zone or region that the record
-// has not left, or none if it has one already.
+// limitToOneUnit keeps, of what an isolated member would evacuate, one zone or region that the
+// committed state has not evacuated, or none if the member has evacuated one already.
 func (c *Controller) limitToOneUnit(view *fleetView, draft *changeDraft, from int, candidates []int) []int {
-	unitOf := func(zone string) string {
-		if pair := c.cfg.RegionOf(zone); pair != "" {
-			return "region " + pair
-		}
-		return zone
-	}
 	observer, currentUnit := view.zones[from], ""
 	for _, pair := range draft.base.Pairs {
-		recorded := c.committed.pair(observer, pair.To).Status
-		if pair.From == observer && !recorded.isEvacuated() && (pair.Status.isEvacuated() || pair.Status == Recovering && recorded != Recovering) {
-			currentUnit = unitOf(pair.To)
+		if pair.From == observer && isLocalEvacuation(c.committed.pair(observer, pair.To).Status, pair.Status) {
+			currentUnit = c.cfg.unitOf(pair.To)
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(candidates), func(to int) bool {
@@ -80,8 +80,25 @@
 			return true
 		}
 		if currentUnit == "" {
-			currentUnit = unitOf(zone)
+			currentUnit = c.cfg.unitOf(zone)
 		}
-		return unitOf(zone) != currentUnit
+		return c.cfg.unitOf(zone) != currentUnit
 	})
 }
+
+// isLocalEvacuation reports whether a zone is evacuated, or recovering from it, by the local
+// status only.
+func isLocalEvacuation(committed, local Status) bool {
+	if committed.isEvacuated() {
+		return false
+	}
+	return local.isEvacuated() || local == Recovering && committed != Recovering
+}
+
+// unitOf returns what is evacuated together with a zone: its region or the zone itself.
+func (c Config) unitOf(zone string) string {
+	if region := c.RegionOf(zone); region != "" {
+		return "region " + region
+	}
+	return zone
+}
--- a/internal/fleet/zonestatus/recovery.go
+++ b/internal/fleet/zonestatus/recovery.go
@@ -2,34 +2,39 @@
 
 import "math"
 
-// back begins a return: where a zone that was left seems to serve again, as seen for long
-// enough from two zones that left it, or from as many as did.
+// stepOutcome is what the evidence says of a step of a recovery ramp.
+type stepOutcome int
+
+const (
+	stepHolds stepOutcome = iota
+	stepSucceeds
+	stepFails
+	stepEndsPartially // no further step: the rest of the zone fails
+)
+
+const (
+	// inconclusiveIntervals is how many StableIntervals a step waits for conclusive traffic:
+	// where nobody asks for sessions, little is at stake.
+	inconclusiveIntervals = 5
+	// mostlyHealthyFailing is the failing fraction up to which the last step may succeed.
+	mostlyHealthyFailing = 0.25
+	// stepTolerance is by how much the healthy fraction may miss a step's share.
+	stepTolerance = 0.1
+)
+
+// startRecoveries begins the recovery of zones that seem to serve again.
 func (c *Controller) startRecoveries(view *fleetView, draft *changeDraft) {
 	for to, zone := range view.zones {
-		evacuatedObservers, steadyObservers, steadyOthers := 0, 0, 0
-		ready := make([]bool, len(view.zones))
-		for started, observer := range view.zones {
-			evidence, pair := view.pair(started, to), draft.base.pair(observer, zone)
-			evacuated := pair.Status.isEvacuated()
-			steadyFor := c.heldFor(draft.now, observer, zone, 'b', evidence.seemsRecovered())
-			ready[started] = steadyFor >= c.cfg.StableInterval || c.DisabledGuards.RecoveryRamp && steadyFor >= 0
-			switch {
-			case evacuated && view.hasMembers[started]:
-				if evacuatedObservers++; ready[started] {
-					steadyObservers++
-				}
-			case ready[started] && evidence.known:
-				steadyOthers++
-			}
-		}
-		if steadyObservers == 0 || steadyObservers+steadyOthers < min(minReporters, evacuatedObservers) {
+		ready, confirmed := c.recoveryEvidence(view, draft, to)
+		if !confirmed {
 			continue
 		}
 		var started []string
-		for i, observer := range view.zones {
+		for from, observer := range view.zones {
 			pair := draft.base.pair(observer, zone)
-			mustWait := pair.Status != Evacuated && (pair.Status != HeldBack || draft.now.Milliseconds() < pair.HeldUntil)
-			if mustWait || !ready[i] && view.pair(i, to).receivers > 0 {
+			holdIsOver := pair.Status == HeldBack && draft.now.Milliseconds() >= pair.HeldUntil
+			mayStart := pair.Status == Evacuated || holdIsOver
+			if !mayStart || !ready[from] && view.pair(from, to).receivers > 0 {
 				continue
 			}
 			if draft.set(c.recoveryStep(view, to, pair, 1)) {
@@ -41,109 +46,170 @@
 	c.equalizeRates(view, draft)
 }
 
-// step makes the row of a return's step.
+// recoveryEvidence returns from which zones one has seemed recovered for the StableInterval,
+// and whether these are enough to start: two, or as many as evacuated it, and one of those.
+func (c *Controller) recoveryEvidence(view *fleetView, draft *changeDraft, to int) (ready []bool, confirmed bool) {
+	evacuatedObservers, readyObservers, readyOthers := 0, 0, 0
+	ready = make([]bool, len(view.zones))
+	for from, observer := range view.zones {
+		evidence := view.pair(from, to)
+		evacuated := draft.base.pair(observer, view.zones[to]).Status.isEvacuated()
+		recoveredFor := c.heldFor(draft.now, observer, view.zones[to], zoneRecovered, evidence.seemsRecovered())
+		ready[from] = recoveredFor >= c.cfg.StableInterval || c.DisabledGuards.RecoveryRamp && recoveredFor >= 0
+		switch {
+		case evacuated && view.hasMembers[from]:
+			evacuatedObservers++
+			if ready[from] {
+				readyObservers++
+			}
+		case ready[from] && evidence.known:
+			readyOthers++
+		}
+	}
+	confirmed = readyObservers > 0 && readyObservers+readyOthers >= min(minReporters, evacuatedObservers)
+	return ready, confirmed
+}
+
+// recoveryStep returns the pair at a step of the recovery ramp.
 func (c *Controller) recoveryStep(view *fleetView, to int, pair PairStatus, step int) PairStatus {
-	return PairStatus{From: pair.From, To: pair.To, Status: Recovering, Step: step, Share: c.cfg.RampSteps[step-1],
-		Rate: c.recoveryRate(view, to, step), Failures: pair.Failures}
+	return PairStatus{
+		From:     pair.From,
+		To:       pair.To,
+		Status:   Recovering,
+		Step:     step,
+		Share:    c.cfg.RampSteps[step-1],
+		Rate:     c.recoveryRate(view, to, step),
+		Failures: pair.Failures,
+	}
+}
+
+// recoveredPair returns the pair after its recovery ramp, with the share that is healthy.
+func recoveredPair(pair PairStatus, evidence *pairEvidence) PairStatus {
+	share := quantizeShare(1 - evidence.failingUnconfirmed)
+	return PairStatus{From: pair.From, To: pair.To, Share: share, Failures: pair.Failures}
 }
 
-// rate is how many set-ups a second the whole fleet may send a zone at one step. All its
-// servers come back cold at once: each bears half of what would make it fall, as it warms
-// up over the steps, and the session store keeps half for the other zones.
+// recoveryRate is how many session set-ups a second the whole fleet may send a zone at a step.
+// All its endpoints start cold at once: each gets half of what would overload it as it warms
+// up over the steps, and half of the session store's rate is left to the other zones.
 func (c *Controller) recoveryRate(view *fleetView, to, step int) float64 {
 	if c.DisabledGuards.RecoveryRamp {
 		return maxRecoveryRate
 	}
 	stats, warmth := &view.stats[to], 1.0
-	if elapsed := float64(step-1) * c.cfg.StableInterval.Seconds(); elapsed < c.cfg.SlowStartInterval.Seconds() {
-		warmth = c.cfg.ColdCapacityFraction + (1-c.cfg.ColdCapacityFraction)*elapsed/c.cfg.SlowStartInterval.Seconds()
+	elapsed, slowStart := float64(step-1)*c.cfg.StableInterval.Seconds(), c.cfg.SlowStartInterval.Seconds()
+	if elapsed < slowStart {
+		warmth = c.cfg.ColdCapacityFraction + (1-c.cfg.ColdCapacityFraction)*elapsed/slowStart
 	}
-	rate := c.cfg.EndpointSetupRate * (1 - stats.failing) * (stats.endpoints - stats.warmingUp + stats.warmingUp*min(1, c.cfg.ColdOverloadFactor*warmth/2))
+	warmEndpoints := stats.endpoints - stats.warmingUp + stats.warmingUp*min(1, c.cfg.ColdOverloadFactor*warmth/2)
+	rate := c.cfg.EndpointSetupRate * (1 - stats.failing) * warmEndpoints
 	if c.cfg.StoreSetupRate > 0 {
 		rate = min(rate, c.cfg.StoreSetupRate/2)
 	}
 	return min(maxRecoveryRate, max(1, math.Round(rate)))
 }
 
-// Signs of a step.
-const (
-	stepHolds = iota
-	stepSucceeds
-	stepFails
-	stepEndsPartially // no further step: the rest of the zone fails
-)
-
-// patience is how many times Steady a step waits for traffic that would tell: where
-// nobody asks, little is at stake.
-const inconclusiveIntervals = 5
+// advanceRecoveries takes the next steps of recovery ramps, and takes failed ones back.
+func (c *Controller) advanceRecoveries(view *fleetView, draft *changeDraft) {
+	for to := range view.zones {
+		c.advanceRecovery(view, draft, to)
+	}
+	c.equalizeRates(view, draft)
+}
 
-// climb takes the steps of returns, and takes them back. Zones that can't tell go with
+// advanceRecovery moves one zone's recovering pairs. Observing zones that can't tell go with
 // those that can.
-func (c *Controller) advanceRecoveries(view *fleetView, draft *changeDraft) {
-	for to, zone := range view.zones {
-		attempts, recovering := 0.0, 0
-		for from, observer := range view.zones {
-			if draft.base.pair(observer, zone).Status == Recovering {
-				attempts += view.pair(from, to).attempts
-				recovering++
-			}
-		}
-		if recovering == 0 {
+func (c *Controller) advanceRecovery(view *fleetView, draft *changeDraft, to int) {
+	outcomes, lastSucceeded := c.evaluateSteps(view, draft, to)
+	if outcomes == nil {
+		return
+	}
+	zone := view.zones[to]
+	var advanced, reverted []string
+	for from, observer := range view.zones {
+		pair := draft.base.pair(observer, zone)
+		if pair.Status != Recovering || draft.pair(observer, zone) != pair {
 			continue
 		}
-		outcomes, lastSucceeded := make([]int, len(view.zones)), 0 // of which step all the sure ones go on
-		for from, observer := range view.zones {
-			if pair := draft.base.pair(observer, zone); pair.Status == Recovering {
-				if outcomes[from] = c.evaluateStep(view.pair(from, to), draft, pair, attempts); outcomes[from] == stepSucceeds && draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval {
-					lastSucceeded = max(lastSucceeded, pair.Step)
-				}
-			}
+		evidence, outcome := view.pair(from, to), outcomes[from]
+		if outcome == stepHolds && pair.Step <= lastSucceeded && evidence.receivers == 0 {
+			outcome = stepSucceeds
 		}
-		var advanced, reverted []string
-		for from, observer := range view.zones {
-			pair := draft.base.pair(observer, zone)
-			if pair.Status != Recovering || draft.pair(observer, zone) != pair {
-				continue
+		waited := draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval
+		switch {
+		case c.DisabledGuards.RecoveryRamp || outcome == stepSucceeds && waited:
+			next := recoveredPair(pair, evidence)
+			if pair.Step < len(c.cfg.RampSteps) {
+				next = c.recoveryStep(view, to, pair, pair.Step+1)
+			}
+			if draft.set(next) {
+				advanced = append(advanced, observer)
 			}
-			follows := outcomes[from] == stepSucceeds || outcomes[from] == stepHolds && pair.Step <= lastSucceeded && view.pair(from, to).receivers == 0
-			switch {
-			case c.DisabledGuards.RecoveryRamp || follows && draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval:
-				next := PairStatus{From: observer, To: zone, Share: quantizeShare(1 - view.pair(from, to).failingUnconfirmed), Failures: pair.Failures}
-				if pair.Step < len(c.cfg.RampSteps) {
-					next = c.recoveryStep(view, to, pair, pair.Step+1)
-				}
-				if draft.set(next) {
-					advanced = append(advanced, observer)
-				}
-			case outcomes[from] == stepEndsPartially:
-				if draft.set(PairStatus{From: observer, To: zone, Share: quantizeShare(1 - view.pair(from, to).failingUnconfirmed), Failures: pair.Failures}) {
-					advanced = append(advanced, observer)
-				}
-			case outcomes[from] == stepFails && pair.Step > 1:
-				if draft.set(c.recoveryStep(view, to, pair, pair.Step-1)) {
-					reverted = append(reverted, observer)
-				}
+		case outcome == stepEndsPartially:
+			if draft.set(recoveredPair(pair, evidence)) {
+				advanced = append(advanced, observer)
+			}
+		case outcome == stepFails && pair.Step > 1:
+			if draft.set(c.recoveryStep(view, to, pair, pair.Step-1)) {
+				reverted = append(reverted, observer)
 			}
 		}
-		draft.addReason(zone, "holds its step: the next", advanced)
-		draft.addReason(zone, "does not hold its step: taken back", reverted)
 	}
-	c.equalizeRates(view, draft)
+	draft.addReason(zone, "holds its step: the next", advanced)
+	draft.addReason(zone, "does not hold its step: taken back", reverted)
+}
+
+// evaluateSteps returns the outcome of each observing zone's step, nil if none is recovering,
+// and the highest step that has succeeded.
+func (c *Controller) evaluateSteps(
+	view *fleetView, draft *changeDraft, to int,
+) (outcomes []stepOutcome, lastSucceeded int) {
+	zone := view.zones[to]
+	attempts, recovering := 0.0, false
+	for from, observer := range view.zones {
+		if draft.base.pair(observer, zone).Status == Recovering {
+			attempts += view.pair(from, to).attempts
+			recovering = true
+		}
+	}
+	if !recovering {
+		return nil, 0
+	}
+	outcomes = make([]stepOutcome, len(view.zones))
+	for from, observer := range view.zones {
+		pair := draft.base.pair(observer, zone)
+		if pair.Status != Recovering {
+			continue
+		}
+		outcomes[from] = c.evaluateStep(view.pair(from, to), draft, pair, attempts)
+		if outcomes[from] == stepSucceeds && draft.elapsedSince(pair.ChangedAt) >= c.cfg.StableInterval {
+			lastSucceeded = max(lastSucceeded, pair.Step)
+		}
+	}
+	return outcomes, lastSucceeded
 }
 
-// sign reads the evidence for one step of a return.
-func (c *Controller) evaluateStep(evidence *pairEvidence, draft *changeDraft, pair PairStatus, attempts float64) int {
-	nextShare, sound := 1.0, 1-evidence.failingUnconfirmed+0.1
+// evaluateStep weighs the evidence for one pair's step; attempts are those of all recovering
+// pairs of the zone.
+func (c *Controller) evaluateStep(
+	evidence *pairEvidence, draft *changeDraft, pair PairStatus, attempts float64,
+) stepOutcome {
+	nextShare, healthy := 1.0, 1-evidence.failingUnconfirmed+stepTolerance
 	if pair.Step < len(c.cfg.RampSteps) {
 		nextShare = c.cfg.RampSteps[pair.Step]
 	}
-	fullyServes := nextShare <= sound || nextShare == 1 && evidence.failingUnconfirmed <= 0.25
-	hasEvidence := attempts >= c.cfg.MinAttempts || draft.elapsedSince(pair.ChangedAt) >= inconclusiveIntervals*c.cfg.StableInterval
+	fullyServes := nextShare <= healthy || nextShare == 1 && evidence.failingUnconfirmed <= mostlyHealthyFailing
+	partlyServes := evidence.failingUnconfirmed <= maxFailingForRecovery &&
+		quantizeShare(1-evidence.failingUnconfirmed) <= nextShare
+	waitedLong := draft.elapsedSince(pair.ChangedAt) >= inconclusiveIntervals*c.cfg.StableInterval
+	isConclusive := attempts >= c.cfg.MinAttempts || waitedLong
 	serves := evidence.receivers > 0 && !evidence.unavailable
-	succeedsFor := c.heldFor(draft.now, pair.From, pair.To, 'g', serves && fullyServes && hasEvidence)
-	partialFor := c.heldFor(draft.now, pair.From, pair.To, 'p', serves && !fullyServes && evidence.failingUnconfirmed <= maxFailingForRecovery && quantizeShare(1-evidence.failingUnconfirmed) <= nextShare)
-	failsFor := c.heldFor(draft.now, pair.From, pair.To, 'f', evidence.receivers > 0 && sound+0.1 < pair.Share)
-	silentFor := c.heldFor(draft.now, pair.From, pair.To, 'q', evidence.receivers == 0)
+	failsShare := evidence.receivers > 0 && healthy+stepTolerance < pair.Share
+
+	succeedsFor := c.heldFor(draft.now, pair.From, pair.To, rampStepSucceeds, serves && fullyServes && isConclusive)
+	partialFor := c.heldFor(draft.now, pair.From, pair.To, rampStepEndsPartially, serves && !fullyServes && partlyServes)
+	failsFor := c.heldFor(draft.now, pair.From, pair.To, rampStepFails, failsShare)
+	silentFor := c.heldFor(draft.now, pair.From, pair.To, rampStepSilent, evidence.receivers == 0)
 	switch {
 	case failsFor >= c.cfg.ConfirmInterval || silentFor >= 2*c.cfg.StableInterval:
 		return stepFails
@@ -155,16 +221,17 @@
 	return stepHolds
 }
 
-// level gives all rows of one zone's return the same rate: it is the whole fleet's.
+// equalizeRates gives all recovering pairs of one zone the rate of the lowest step: the rate
+// is the whole fleet's.
 func (c *Controller) equalizeRates(view *fleetView, draft *changeDraft) {
 	if !draft.deferrableAllowed {
 		return
 	}
 	for to, zone := range view.zones {
-		step, changed := maxRampSteps+1, false
+		lowestStep, changed := maxRampSteps+1, false
 		for _, observer := range view.zones {
 			if pair := draft.pair(observer, zone); pair.Status == Recovering {
-				step = min(step, pair.Step)
+				lowestStep = min(lowestStep, pair.Step)
 				changed = changed || pair != draft.base.pair(observer, zone)
 			}
 		}
@@ -173,8 +240,8 @@
 		}
 		for _, observer := range view.zones {
 			if pair := draft.pair(observer, zone); pair.Status == Recovering {
-				pair.Rate = c.recoveryRate(view, to, step)
-				draft.changed[[2]string{observer, zone}] = pair
+				pair.Rate = c.recoveryRate(view, to, lowestStep)
+				draft.changed[zonePair{observer, zone}] = pair
 			}
 		}
 	}
--- a/internal/fleet/zonestatus/state.go
+++ b/internal/fleet/zonestatus/state.go
@@ -8,25 +8,40 @@
 	"strings"
 )
 
-// String names the posture as people read it.
-func (s Status) String() string {
-	if s < Active || s > HeldBack {
-		return fmt.Sprintf("posture %d", int(s))
-	}
-	return [...]string{"open", "suspect", "leaving", "left", "returning", "held"}[s]
+// State is what the replicated log holds. A pair that is not recorded is Active with share 1.
+// Pairs are sorted by From and To, and a state is never changed in place.
+type State struct {
+	Version uint64       `json:"version"`
+	Pairs   []PairStatus `json:"seen,omitempty"`
+	Zones   []string     `json:"zones,omitempty"` // all zones that the last change knew of, by name
+	// Shed is the fraction of all session set-ups, 0 to 1, that the remaining zones have no
+	// capacity for: nodes reject them at once, with a Retry-After.
+	Shed float64 `json:"over,omitempty"`
 }
 
-// gone tells whether nothing new is sent.
-func (s Status) isEvacuated() bool { return s == Evacuating || s == Evacuated || s == HeldBack }
-
-// most of an Over, of the times that a zone is counted as failed, and of a rate.
-const maxShed, maxFailures, maxRecoveryRate = 0.95, 1 << 20, 1e6
+// Change is an entry of the replicated log. It is applied as a whole or not at all.
+type Change struct {
+	BaseVersion uint64       `json:"base"`           // the State's Version it was decided on; rejected on any other
+	Set         []PairStatus `json:"set"`            // by From and To
+	Zones       []string     `json:"zones"`          // all there are, by name: the panic threshold counts them
+	Shed        float64      `json:"over,omitempty"` // as in State
+}
 
-func comparePairs(a, b PairStatus) int {
-	return cmp.Or(strings.Compare(a.From, b.From), strings.Compare(a.To, b.To))
+// TrafficLimit is what a node of one zone may send another zone.
+type TrafficLimit struct {
+	Zone  string  `json:"zone"`
+	Share float64 `json:"share"`          // fraction of the zone's usual traffic: 0 none, 1 all
+	Rate  float64 `json:"rate,omitempty"` // session set-ups a second by the whole fleet; 0 is unlimited
 }
 
-// seen returns the posture of a zone from another: Open with share 1 if it is not named.
+// Upper bounds of what a change may hold.
+const (
+	maxShed         = 0.95
+	maxFailures     = 1 << 20
+	maxRecoveryRate = 1e6 // session set-ups a second
+)
+
+// pair returns the status of one zone as observed from another.
 func (s State) pair(from, to string) PairStatus {
 	low, high := 0, len(s.Pairs)
 	for low < high {
@@ -44,8 +59,9 @@
 	return PairStatus{From: from, To: to, Share: 1}
 }
 
-// Apply returns the state after a change, or why it is not taken: its base, a name, a
-// posture that can't follow the last one, or more zones left than the panic rule allows.
+// Apply returns the state after a change. It rejects one with another base version, an unknown
+// name, a status that may not follow the present one, or more evacuated zones than the panic
+// threshold allows, and then returns s unchanged.
 func (s State) Apply(cfg Config, change Change) (State, error) {
 	cfg = cfg.withDefaults()
 	if change.BaseVersion != s.Version {
@@ -60,21 +76,17 @@
 	if err := checkZones(cfg, change.Zones); err != nil {
 		return s, err
 	}
-	for i, pair := range change.Set {
-		if i > 0 && comparePairs(change.Set[i-1], pair) >= 0 {
-			return s, fmt.Errorf("zones: %s to %s: out of order, or twice", pair.From, pair.To)
-		}
-		if err := checkTransition(cfg, s.pair(pair.From, pair.To), pair); err != nil {
-			return s, fmt.Errorf("zones: %.64s to %.64s: %w", pair.From, pair.To, err)
-		}
+	if err := s.checkTransitions(cfg, change.Set); err != nil {
+		return s, err
 	}
-	next := State{Version: s.Version + 1, Pairs: mergePairs(s.Pairs, change.Set), Zones: slices.Clone(change.Zones), Shed: change.Shed}
-	for _, pair := range next.Pairs {
-		for _, zone := range []string{pair.From, pair.To} {
-			if _, ok := slices.BinarySearch(next.Zones, zone); !ok {
-				return s, fmt.Errorf("zones: %.64q is not among the change's zones", zone)
-			}
-		}
+	next := State{
+		Version: s.Version + 1,
+		Pairs:   mergePairs(s.Pairs, change.Set),
+		Zones:   slices.Clone(change.Zones),
+		Shed:    change.Shed,
+	}
+	if err := next.checkPairsAreListed(); err != nil {
+		return s, err
 	}
 	if err := next.checkEvacuatedFraction(cfg, change.Set); err != nil {
 		return s, err
@@ -82,7 +94,7 @@
 	return next, nil
 }
 
-// listed checks a change's list of all zones.
+// checkZones checks a change's list of all zones.
 func checkZones(cfg Config, zones []string) error {
 	if len(zones) == 0 || len(zones) > maxZones {
 		return fmt.Errorf("zones: %d zones are named, 1 to %d are taken", len(zones), maxZones)
@@ -98,38 +110,39 @@
 	return nil
 }
 
-// merged returns the rows with those of set in their place. What is as if it were not
-// named is dropped.
-func mergePairs(pairs, changes []PairStatus) []PairStatus {
-	var merged []PairStatus
-	add := func(pair PairStatus) {
-		if pair.Status != Active || pair.Share != 1 || pair.Failures != 0 {
-			merged = append(merged, pair)
+// checkTransitions checks that the pairs are sorted and that each may follow the present one.
+func (s State) checkTransitions(cfg Config, set []PairStatus) error {
+	for i, pair := range set {
+		if i > 0 && comparePairs(set[i-1], pair) >= 0 {
+			return fmt.Errorf("zones: %s to %s: out of order, or twice", pair.From, pair.To)
+		}
+		if err := checkTransition(cfg, s.pair(pair.From, pair.To), pair); err != nil {
+			return fmt.Errorf("zones: %.64s to %.64s: %w", pair.From, pair.To, err)
 		}
 	}
-	for len(pairs) > 0 || len(changes) > 0 {
-		switch {
-		case len(changes) == 0 || len(pairs) > 0 && comparePairs(pairs[0], changes[0]) < 0:
-			add(pairs[0])
-			pairs = pairs[1:]
-		default:
-			if len(pairs) > 0 && comparePairs(pairs[0], changes[0]) == 0 {
-				pairs = pairs[1:]
+	return nil
+}
+
+// checkPairsAreListed checks that every pair is of zones that the state lists.
+func (s State) checkPairsAreListed() error {
+	for _, pair := range s.Pairs {
+		for _, zone := range []string{pair.From, pair.To} {
+			if _, ok := slices.BinarySearch(s.Zones, zone); !ok {
+				return fmt.Errorf("zones: %.64q is not among the change's zones", zone)
 			}
-			add(changes[0])
-			changes = changes[1:]
 		}
 	}
-	return merged
+	return nil
 }
 
-// carries is the panic rule as far as the state alone can tell: no viewpoint that the
-// change touches leaves more than its part of the zones, and none leaves all. A zone that
-// is being returned to bears little yet, and counts as left.
+// checkEvacuatedFraction is the panic threshold, as far as the state alone can tell: no
+// observing zone that the change touches evacuates more than its fraction of the zones, and
+// none evacuates all. A zone that is recovering has little capacity yet and counts too.
 func (s State) checkEvacuatedFraction(cfg Config, changes []PairStatus) error {
 	maxEvacuated := cfg.maxEvacuatedZones(len(s.Zones))
 	for i, pair := range changes {
-		if !pair.Status.isEvacuated() || i > 0 && changes[i-1].From == pair.From && changes[i-1].Status.isEvacuated() {
+		checkedBefore := i > 0 && changes[i-1].From == pair.From && changes[i-1].Status.isEvacuated()
+		if !pair.Status.isEvacuated() || checkedBefore {
 			continue
 		}
 		if evacuated := s.evacuatedCount(pair.From); evacuated > maxEvacuated {
@@ -140,7 +153,7 @@
 	return nil
 }
 
-// left counts the zones that one viewpoint has left and those it is returning to.
+// evacuatedCount is how many zones an observing zone has evacuated or is recovering.
 func (s State) evacuatedCount(from string) (count int) {
 	for _, pair := range s.Pairs {
 		if pair.From == from && (pair.Status.isEvacuated() || pair.Status == Recovering) {
@@ -150,8 +163,8 @@
 	return count
 }
 
-// Bounds returns what a node of one zone may send others, by name: a zone that is not
-// named has no bound. Over, which is no zone's, is to be read from the state.
+// TrafficLimits returns what a node of one zone may send others, by name. A zone that is not
+// named has no limit. Shed, which is no zone's, is to be read from the state.
 func (s State) TrafficLimits(from string) (limits []TrafficLimit) {
 	for _, pair := range s.Pairs {
 		switch {
--- a/internal/fleet/zonestatus/status.go
+++ b/internal/fleet/zonestatus/status.go
@@ -1,78 +1,78 @@
-// Package zone decides, for the fleet as one, which zones and regions are left and how they
-// are returned to. It does no I/O, reads no clock and starts no goroutine: what members saw
-// and the record's state come in, changes of the record and bounds on draws go out.
-// docs/notes/zones.md derives the bounds.
 package zonestatus
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"strings"
+)
 
-// Posture is how one zone is seen from another.
+// Status is how one zone treats another.
 type Status int
 
-// The postures. Open and Suspect bound no more than their Share says; from Leaving on
-// nothing new is sent, but for Returning, which sends the part that its step allows.
+// The statuses. Active and Suspect limit traffic to the pair's Share and no further; from
+// Evacuating on no new traffic is sent, except by Recovering, which sends what its ramp step
+// allows. Their numbers are on the wire, their strings are the older words.
 const (
-	Active  Status = iota
-	Suspect        // it fails, and the panic rule keeps it
-	Evacuating
-	Evacuated
-	Recovering
-	HeldBack // left again after a return: not tried before Until
+	Active     Status = iota // "open"
+	Suspect                  // "suspect": unavailable, but kept by the panic threshold
+	Evacuating               // "leaving": not all nodes may have received the evacuation yet
+	Evacuated                // "left"
+	Recovering               // "returning": in its recovery ramp
+	HeldBack                 // "held": evacuated again after a recovery; not tried before HeldUntil
 )
 
-// Seen is the posture of one zone or region as seen from a zone.
+// String returns the word that logs, operators' calls and scenarios use for the status.
+func (s Status) String() string {
+	if s < Active || s > HeldBack {
+		return fmt.Sprintf("posture %d", int(s))
+	}
+	return [...]string{"open", "suspect", "leaving", "left", "returning", "held"}[s]
+}
+
+// isEvacuated reports whether no new traffic is sent.
+func (s Status) isEvacuated() bool { return s == Evacuating || s == Evacuated || s == HeldBack }
+
+// PairStatus is the status of zone To as observed from zone From.
 type PairStatus struct {
 	From      string  `json:"from"`
-	To        string  `json:"to"` // a zone; regions are set zone by zone, in one change
+	To        string  `json:"to"` // a zone; a region is set zone by zone, in one change
 	Status    Status  `json:"posture"`
-	Share     float64 `json:"share"`           // of the draws of To that From keeps, 0 to 1
-	Step      int     `json:"step,omitempty"`  // of a return, from 1
-	Rate      float64 `json:"rate,omitempty"`  // set-ups a second that the whole fleet may send To while it returns
+	Share     float64 `json:"share"`           // fraction of To's usual traffic that From keeps, 0 to 1
+	Step      int     `json:"step,omitempty"`  // of the recovery ramp, from 1
+	Rate      float64 `json:"rate,omitempty"`  // session set-ups a second by the whole fleet, while recovering
 	ChangedAt int64   `json:"since"`           // Unix ms, by the proposer's clock
-	HeldUntil int64   `json:"until,omitempty"` // Unix ms: not before
-	Failures  int     `json:"fails,omitempty"` // times that it was left of late
+	HeldUntil int64   `json:"until,omitempty"` // Unix ms: no recovery before
+	Failures  int     `json:"fails,omitempty"` // recent evacuations of the pair
 }
 
-// State is what the record holds: what is not named is Open with share 1. It is sorted by
-// From and To, and never changed in place.
-type State struct {
-	Version uint64       `json:"version"`
-	Pairs   []PairStatus `json:"seen,omitempty"`
-	Zones   []string     `json:"zones,omitempty"` // that the last change knew of, by name
-	Shed    float64      `json:"over,omitempty"`  // share of all set-ups that the zones which stay can't carry, 0 to 1: to be refused at once, with a pause
+// comparePairs orders pairs by From and To.
+func comparePairs(a, b PairStatus) int {
+	return cmp.Or(strings.Compare(a.From, b.From), strings.Compare(a.To, b.To))
 }
 
-// Change is an entry of the record: all of it takes force, or nothing.
-type Change struct {
-	BaseVersion uint64       `json:"base"`           // the Version that it was decided on; another is a reason to refuse it
-	Set         []PairStatus `json:"set"`            // by From and To
-	Zones       []string     `json:"zones"`          // all that there are, by name: the panic rule counts them
-	Shed        float64      `json:"over,omitempty"` // as in State
-}
-
-// Sight is what one member saw of one zone's feed servers of late (fading, some seconds).
-type Observation struct {
-	Zone           string  `json:"to"`
-	Endpoints      int     `json:"servers"`         // that its list names as ready
-	Failing        int     `json:"bad"`             // of them, those that failed most of what they were asked of late
-	Attempted      int     `json:"tried,omitempty"` // of them, those that were asked at all of late; 0 says all
-	Attempts       float64 `json:"asked"`           // attempts and failed probes
-	FailedAttempts float64 `json:"failed"`          // of them, those that failed
-	Load           float64 `json:"load"`            // mean reported load over capacity of those that reported; -1 if none did
-	WarmingUp      int     `json:"cold"`            // servers within their ramp
-}
-
-// Word is one member's evidence, as gossip brings it.
-type Report struct {
-	Member       string        `json:"member"`
-	Zone         string        `json:"from"` // the member's zone
-	ReportedAt   time.Duration `json:"at"`   // Unix time, by the member's clock
-	Observations []Observation `json:"sights"`
-}
+// isDefault reports whether the pair says no more than one that is not recorded.
+func (p PairStatus) isDefault() bool { return p.Status == Active && p.Share == 1 && p.Failures == 0 }
 
-// Bound is what a node of one zone may send another zone.
-type TrafficLimit struct {
-	Zone  string  `json:"zone"`
-	Share float64 `json:"share"`          // of the zone's draws: 0 none, 1 all
-	Rate  float64 `json:"rate,omitempty"` // set-ups a second by the whole fleet; 0 sets no bound
+// mergePairs returns the sorted pairs with the sorted changes in their place. Pairs that are
+// as if they were not recorded are dropped.
+func mergePairs(pairs, changes []PairStatus) []PairStatus {
+	var merged []PairStatus
+	add := func(pair PairStatus) {
+		if !pair.isDefault() {
+			merged = append(merged, pair)
+		}
+	}
+	for len(pairs) > 0 || len(changes) > 0 {
+		if len(changes) == 0 || len(pairs) > 0 && comparePairs(pairs[0], changes[0]) < 0 {
+			add(pairs[0])
+			pairs = pairs[1:]
+			continue
+		}
+		if len(pairs) > 0 && comparePairs(pairs[0], changes[0]) == 0 {
+			pairs = pairs[1:]
+		}
+		add(changes[0])
+		changes = changes[1:]
+	}
+	return merged
 }
--- a/internal/fleet/zonestatus/transition.go
+++ b/internal/fleet/zonestatus/transition.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// after names the postures that may follow each.
+// allowedTransitions lists the statuses that may follow each.
 var allowedTransitions = [...][]Status{
 	Active:     {Active, Suspect, Evacuating},
 	Suspect:    {Active, Suspect, Evacuating},
@@ -17,7 +17,7 @@
 	Recovering: {Recovering, Evacuating, Active},
 }
 
-// follows tells why one row can't take another's place.
+// checkTransition says why next may not take the place of old.
 func checkTransition(cfg Config, old, next PairStatus) error {
 	if next.Status < Active || next.Status > HeldBack {
 		return fmt.Errorf("%v is not known", next.Status)
@@ -30,16 +30,7 @@
 	}
 	switch next.Status {
 	case Recovering:
-		switch {
-		case old.Status != Recovering && next.Step != 1:
-			return fmt.Errorf("a return begins with step 1, not with %d", next.Step)
-		case old.Status == Recovering && (next.Step > old.Step+1 || next.Step < old.Step-1):
-			return fmt.Errorf("step %d can't follow step %d", next.Step, old.Step)
-		case next.ChangedAt < old.HeldUntil:
-			return fmt.Errorf("held until %d, it is %d", old.HeldUntil, next.ChangedAt)
-		case next.Failures != old.Failures:
-			return errors.New("fails: a return keeps them")
-		}
+		return checkRecovering(old, next)
 	case Evacuating:
 		if old.Status != Recovering && next.Failures < 1 {
 			return errors.New("fails: a zone that is left has failed once at least")
@@ -52,8 +43,33 @@
 	return nil
 }
 
-// shaped checks a row by itself: each figure has its place in some postures only.
+// checkRecovering checks the start of a recovery ramp or a further step of it.
+func checkRecovering(old, next PairStatus) error {
+	switch {
+	case old.Status != Recovering && next.Step != 1:
+		return fmt.Errorf("a return begins with step 1, not with %d", next.Step)
+	case old.Status == Recovering && (next.Step > old.Step+1 || next.Step < old.Step-1):
+		return fmt.Errorf("step %d can't follow step %d", next.Step, old.Step)
+	case next.ChangedAt < old.HeldUntil:
+		return fmt.Errorf("held until %d, it is %d", old.HeldUntil, next.ChangedAt)
+	case next.Failures != old.Failures:
+		return errors.New("fails: a return keeps them")
+	}
+	return nil
+}
+
+// checkPair checks a pair by itself: some fields have a value in certain statuses only.
 func checkPair(cfg Config, pair PairStatus) error {
+	if err := checkShare(pair); err != nil {
+		return err
+	}
+	if err := checkRampStep(cfg, pair); err != nil {
+		return err
+	}
+	return checkTimes(cfg, pair)
+}
+
+func checkShare(pair PairStatus) error {
 	switch {
 	case !(pair.Share >= 0 && pair.Share <= 1):
 		return fmt.Errorf("share %v is outside 0 to 1", pair.Share)
@@ -61,20 +77,38 @@
 		return fmt.Errorf("share %v, but it is %v", pair.Share, pair.Status)
 	case !pair.Status.isEvacuated() && pair.Share == 0:
 		return fmt.Errorf("share 0, but it is %v", pair.Status)
-	case pair.Status != Recovering && (pair.Step != 0 || pair.Rate != 0):
-		return fmt.Errorf("a step or a rate, but it is %v", pair.Status)
-	case pair.Status == Recovering && (pair.Step < 1 || pair.Step > len(cfg.RampSteps)):
+	}
+	return nil
+}
+
+func checkRampStep(cfg Config, pair PairStatus) error {
+	if pair.Status != Recovering {
+		if pair.Step != 0 || pair.Rate != 0 {
+			return fmt.Errorf("a step or a rate, but it is %v", pair.Status)
+		}
+		return nil
+	}
+	switch {
+	case pair.Step < 1 || pair.Step > len(cfg.RampSteps):
 		return fmt.Errorf("step %d of %d", pair.Step, len(cfg.RampSteps))
-	case pair.Status == Recovering && pair.Share > cfg.RampSteps[pair.Step-1]:
+	case pair.Share > cfg.RampSteps[pair.Step-1]:
 		return fmt.Errorf("share %v is more than step %d allows", pair.Share, pair.Step)
-	case pair.Status == Recovering && !(pair.Rate > 0 && pair.Rate <= maxRecoveryRate):
+	case !(pair.Rate > 0 && pair.Rate <= maxRecoveryRate):
 		return fmt.Errorf("rate %v is outside 0 to %v", pair.Rate, float64(maxRecoveryRate))
+	}
+	return nil
+}
+
+func checkTimes(cfg Config, pair PairStatus) error {
+	heldMs := pair.HeldUntil - pair.ChangedAt
+	isTooLong := heldMs > int64(cfg.MaxHoldInterval/time.Millisecond)
+	switch {
 	case pair.ChangedAt < 0 || pair.Failures < 0 || pair.Failures > maxFailures:
 		return errors.New("since or fails is out of range")
 	case pair.Status != HeldBack && pair.HeldUntil != 0:
 		return fmt.Errorf("until, but it is %v", pair.Status)
-	case pair.Status == HeldBack && (pair.HeldUntil < pair.ChangedAt || pair.HeldUntil-pair.ChangedAt > int64(cfg.MaxHoldInterval/time.Millisecond)):
-		return fmt.Errorf("held for %d ms, at most %v are allowed", pair.HeldUntil-pair.ChangedAt, cfg.MaxHoldInterval)
+	case pair.Status == HeldBack && (pair.HeldUntil < pair.ChangedAt || isTooLong):
+		return fmt.Errorf("held for %d ms, at most %v are allowed", heldMs, cfg.MaxHoldInterval)
 	}
 	return nil
 }
