--- /dev/null
+++ b/internal/fleet/zonestatus/isolated_test.go
@@ -0,0 +1,65 @@
+package zonestatus
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// evacuatedAfter evaluates every 100 ms for a while on the evidence of the one member of zone
+// a, and returns the names of the zones that are then evacuated.
+func (f *testFleet) evacuatedAfter(c *IsolatedController, d time.Duration, state State) (names string) {
+	var limits []TrafficLimit
+	for end := f.now + d; f.now < end; {
+		f.now += 100 * time.Millisecond
+		limits = c.Evaluate(f.now, state, f.report(Member{Name: "a0", Zone: "a"}))
+	}
+	for _, limit := range limits {
+		if limit.Share == 0 {
+			names += limit.Zone
+		}
+	}
+	return names
+}
+
+// An isolated member adds one zone to what the committed state evacuates, never its own, and
+// nothing while it reaches hardly any zone; it takes that back by ramp steps, or when it
+// receives a new version.
+func TestIsolatedControllerEvacuatesOneZone(t *testing.T) {
+	committed := State{
+		Version: 3,
+		Zones:   []string{"a", "b", "c", "d", "e"},
+		Pairs:   []PairStatus{{From: "a", To: "b", Status: Evacuated, Failures: 1}},
+	}
+	for _, tt := range []struct {
+		name        string
+		guards      Guards
+		unavailable string
+		want        string
+	}{
+		{"nothing", Guards{}, "", "b"},
+		{"one more", Guards{}, "c", "bc"},
+		{"two more: one", Guards{}, "cd", "bc"},
+		{"its own", Guards{}, "a", "b"},
+		{"hardly any reached", Guards{}, "bcde", "b"},
+		{"hardly any reached, believed", Guards{ReporterConnectivity: true}, "bcde", "bc"},
+	} {
+		fleet := newTestFleet(t, 5, 1)
+		fleet.state = committed
+		fleet.failing = func(_, to string, _ int) float64 { return indicator(strings.Contains(tt.unavailable, to)) }
+		controller := NewIsolatedController(fleet.cfg)
+		controller.DisabledGuards = tt.guards
+		if got := fleet.evacuatedAfter(controller, 3*time.Second, committed); got != tt.want {
+			t.Errorf("%s: evacuated %s, want %s", tt.name, got, tt.want)
+		}
+		received := committed
+		received.Version++
+		if got := fleet.evacuatedAfter(controller, 100*time.Millisecond, received); got != "b" {
+			t.Errorf("%s: evacuated %s once it receives a new version", tt.name, got)
+		}
+		fleet.failing = func(string, string, int) float64 { return 0 }
+		if got := fleet.evacuatedAfter(controller, 30*time.Second, committed); got != "b" {
+			t.Errorf("%s: evacuated %s after all is well", tt.name, got)
+		}
+	}
+}
--- a/internal/fleet/zonestatus/recovery.go
+++ b/internal/fleet/zonestatus/recovery.go
@@ -25,8 +25,8 @@
 // startRecoveries begins the recovery of zones that seem to serve again.
 func (c *Controller) startRecoveries(view *fleetView, draft *changeDraft) {
 	for to, zone := range view.zones {
-		ready, confirmed := c.recoveryEvidence(view, draft, to)
-		if !confirmed {
+		ready := make([]bool, len(view.zones)) // by observing zone
+		if !c.hasRecovered(view, draft, to, ready) {
 			continue
 		}
 		var started []string
@@ -46,11 +46,10 @@
 	c.equalizeRates(view, draft)
 }
 
-// recoveryEvidence returns from which zones one has seemed recovered for the StableInterval,
-// and whether these are enough to start: two, or as many as evacuated it, and one of those.
-func (c *Controller) recoveryEvidence(view *fleetView, draft *changeDraft, to int) (ready []bool, confirmed bool) {
+// hasRecovered sets from which zones one has seemed recovered for the StableInterval, and
+// reports whether these are enough to start: two, or as many as evacuated it, and one of those.
+func (c *Controller) hasRecovered(view *fleetView, draft *changeDraft, to int, ready []bool) bool {
 	evacuatedObservers, readyObservers, readyOthers := 0, 0, 0
-	ready = make([]bool, len(view.zones))
 	for from, observer := range view.zones {
 		evidence := view.pair(from, to)
 		evacuated := draft.base.pair(observer, view.zones[to]).Status.isEvacuated()
@@ -66,8 +65,7 @@
 			readyOthers++
 		}
 	}
-	confirmed = readyObservers > 0 && readyObservers+readyOthers >= min(minReporters, evacuatedObservers)
-	return ready, confirmed
+	return readyObservers > 0 && readyObservers+readyOthers >= min(minReporters, evacuatedObservers)
 }
 
 // recoveryStep returns the pair at a step of the recovery ramp.
--- a/internal/fleet/zonestatus/testfleet_test.go
+++ b/internal/fleet/zonestatus/testfleet_test.go
@@ -10,8 +10,8 @@
 
 const startTime = 1_790_000_000 * time.Second
 
-// world is a fleet whose faults a test sets: members tell every 100 ms what they see, and
-// what a Watch decides is applied at once.
+// testFleet is a fleet whose faults a test sets: members report every 100 ms what they
+// observe, and what a Controller decides is applied at once.
 type testFleet struct {
 	t              testing.TB
 	cfg            Config
@@ -19,21 +19,29 @@
 	state          State
 	now            time.Duration
 	zones          []string
-	membersPerZone int     // members of each zone
-	endpoints      int     // of each zone
-	load           float64 // of each server
-	warmingUp      int
-	failing        func(from, to string, member int) float64 // share of to's servers that fail
+	membersPerZone int
+	endpoints      int                                       // of each zone
+	load           float64                                   // of each endpoint
+	warmingUp      int                                       // endpoints of each zone
+	failing        func(from, to string, member int) float64 // fraction of to's endpoints
 	isSilent       func(member string) bool
-	log            []string // changes, by seconds
+	log            []string // the reasons of all changes, by seconds
 	changes        int
 	rejected       int
 	cachedMembers  []Member
 }
 
 func newTestFleet(t testing.TB, zones, membersPerZone int) *testFleet {
-	fleet := &testFleet{t: t, cfg: DefaultConfig(), now: startTime, membersPerZone: membersPerZone, endpoints: 4, load: 0.3,
-		failing: func(string, string, int) float64 { return 0 }, isSilent: func(string) bool { return false }}
+	fleet := &testFleet{
+		t:              t,
+		cfg:            DefaultConfig(),
+		now:            startTime,
+		membersPerZone: membersPerZone,
+		endpoints:      4,
+		load:           0.3,
+		failing:        func(string, string, int) float64 { return 0 },
+		isSilent:       func(string) bool { return false },
+	}
 	for i := range zones {
 		fleet.zones = append(fleet.zones, string(rune('a'+i)))
 	}
@@ -41,35 +49,44 @@
 	return fleet
 }
 
-func (f *testFleet) members() (all []Member) {
+func (f *testFleet) members() (members []Member) {
 	if len(f.cachedMembers) == f.membersPerZone*len(f.zones) {
 		return slices.Clone(f.cachedMembers)
 	}
-	for _, z := range f.zones {
+	for _, zone := range f.zones {
 		for i := range f.membersPerZone {
-			all = append(all, Member{Name: fmt.Sprint(z, i), Zone: z, Alive: true})
+			members = append(members, Member{Name: fmt.Sprint(zone, i), Zone: zone, Alive: true})
 		}
 	}
-	f.cachedMembers = all
-	return slices.Clone(all)
+	f.cachedMembers = members
+	return slices.Clone(members)
 }
 
-func (f *testFleet) reports() (all []Report) {
-	for _, m := range f.members() {
-		if !f.isSilent(m.Name) {
-			all = append(all, f.report(m))
+func (f *testFleet) reports() (reports []Report) {
+	for _, member := range f.members() {
+		if !f.isSilent(member.Name) {
+			reports = append(reports, f.report(member))
 		}
 	}
-	return all
+	return reports
 }
 
 func (f *testFleet) report(member Member) Report {
 	report := Report{Member: member.Name, Zone: member.Zone, ReportedAt: f.now - 100*time.Millisecond}
+	index := int(member.Name[len(member.Name)-1] - '0')
 	for _, to := range f.zones {
-		share := f.failing(member.Zone, to, int(member.Name[len(member.Name)-1]-'0'))
-		observation := Observation{Zone: to, Endpoints: f.endpoints, Failing: int(share * float64(f.endpoints)), Attempts: 10, FailedAttempts: 10 * share, Load: f.load, WarmingUp: f.warmingUp}
-		if f.state.pair(member.Zone, to).Status.isEvacuated() && share < 1 {
-			observation.Attempts = 0 // answered probes leave no trace
+		fraction := f.failing(member.Zone, to, index)
+		observation := Observation{
+			Zone:           to,
+			Endpoints:      f.endpoints,
+			Failing:        int(fraction * float64(f.endpoints)),
+			Attempts:       10,
+			FailedAttempts: 10 * fraction,
+			Load:           f.load,
+			WarmingUp:      f.warmingUp,
+		}
+		if f.state.pair(member.Zone, to).Status.isEvacuated() && fraction < 1 {
+			observation.Attempts = 0 // answered health checks are not counted
 		}
 		report.Observations = append(report.Observations, observation)
 	}
@@ -82,16 +99,18 @@
 	if !ok {
 		return
 	}
+	seconds := (f.now - startTime).Seconds()
 	next, err := f.state.Apply(f.cfg, change)
 	if err != nil {
-		if f.rejected++; f.controller.DisabledGuards == (Guards{}) {
-			f.t.Fatalf("%.1f s: %s: %v", (f.now - startTime).Seconds(), reason, err)
+		f.rejected++
+		if f.controller.DisabledGuards == (Guards{}) {
+			f.t.Fatalf("%.1f s: %s: %v", seconds, reason, err)
 		}
 		return
 	}
 	f.changes++
 	f.state = next
-	f.log = append(f.log, fmt.Sprintf("%.1f %s", (f.now-startTime).Seconds(), reason))
+	f.log = append(f.log, fmt.Sprintf("%.1f %s", seconds, reason))
 }
 
 func (f *testFleet) run(d time.Duration) {
@@ -100,12 +119,17 @@
 	}
 }
 
-// dead makes zones' servers fail by a share for everybody.
+// fail makes a fraction of zones' endpoints fail for everybody.
 func (f *testFleet) fail(fraction float64, zones ...string) {
 	f.failing = func(_, to string, _ int) float64 { return fraction * indicator(slices.Contains(zones, to)) }
 }
 
-// rows writes the state as from>to:posture, with shares that are not whole.
+func (f *testFleet) transcript() string { return strings.Join(f.log, "\n") }
+
+// isAllActive reports whether every pair is active with its whole share and nothing is shed.
+func (f *testFleet) isAllActive() bool { return describe(f.state) == "" && f.state.Shed == 0 }
+
+// describe writes the state as from>to:status, with shares that are not 1.
 func describe(s State) string {
 	var parts []string
 	for _, pair := range s.Pairs {
@@ -119,3 +143,10 @@
 	}
 	return strings.Join(parts, ", ")
 }
+
+func indicator(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
