--- a/internal/fleet/quota/allocate.go
+++ b/internal/fleet/quota/allocate.go
@@ -1,29 +1,40 @@
 package quota
 
 import (
-	"cmp"
-	"hash/fnv"
-	"math"
 	"slices"
 	"time"
 )
 
-// clamp is how many times the median of all members' parts one counts at most: the
-// uneven spread of traffic passes, a false word does not.
+// maxMedianMultiple is how many times the median of all members' demands one counts at most:
+// uneven traffic passes, a false report does not.
 const maxMedianMultiple = 3.0
 
-// Token is how many connections this member may send one next hop.
+// maxAllocatedRate is the greatest rate that is allocated, a second.
+const maxAllocatedRate = 1e6
+
+// TokenGrant is how many connections this member may open to one endpoint.
 type TokenGrant struct {
 	Endpoint
 	Tokens int `json:"tokens"`
 }
 
-// Deal returns this member's tokens for the half epoch in which now lies, for every next
-// hop that any member holds for cold, by id.
+// Allocate returns this member's tokens for the period in which now lies, for every endpoint
+// that any lease holder reports as warming up, by id.
 func (s *State) Allocate(now time.Duration) (grants []TokenGrant) {
-	leaseHolders := s.leaseHolders(now)
+	holders := s.leaseHolders(now)
+	period, _, _ := s.cfg.Period(now)
+	for endpoint := range s.warmingEndpoints(now, holders) {
+		budget := s.epochBudget(now, period/2, endpoint, holders)
+		grants = append(grants, TokenGrant{endpoint, s.ownTokens(now, period, budget, endpoint, holders)})
+	}
+	slices.SortFunc(grants, func(a, b TokenGrant) int { return compareEndpoints(a.Endpoint, b.Endpoint) })
+	return grants
+}
+
+// warmingEndpoints is the set of endpoints that any lease holder reports as warming up.
+func (s *State) warmingEndpoints(now time.Duration, holders []string) map[Endpoint]bool {
 	warming := map[Endpoint]bool{}
-	for _, name := range leaseHolders {
+	for _, name := range holders {
 		member := s.members[name]
 		for endpoint, usage := range member.usages {
 			if usage.WarmingUp && now-member.report.ReportedAt < s.cfg.LeaseTimeout {
@@ -31,71 +42,67 @@
 			}
 		}
 	}
-	period, _, _ := s.cfg.Period(now)
-	for endpoint := range warming {
-		budget := s.epochBudget(now, period/2, endpoint, leaseHolders)
-		grants = append(grants, TokenGrant{endpoint, s.ownTokens(now, period, budget, endpoint, leaseHolders)})
-	}
-	slices.SortFunc(grants, func(a, b TokenGrant) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedAt, b.StartedAt))
-	})
-	return grants
+	return warming
 }
 
-// Zone is the name under which the set-ups into a zone are dealt. No next hop has it: none
-// started before 1970.
-func ZoneKey(name string) Endpoint { return Endpoint{ID: name, StartedAt: -1} }
-
-// Rate returns this member's tokens for the half epoch in which now lies, of a rate a second
-// that all members know and keep to together. Half of it is dealt in an epoch, so that two
-// epochs, which a window may touch, make no more than the whole.
+// AllocateRate returns this member's tokens for the period in which now lies, of a rate a second
+// that all members know and keep to together. An epoch's budget is half of what the rate makes
+// in it, so that two epochs, which a window may touch, make no more than the whole.
 func (s *State) AllocateRate(now time.Duration, endpoint Endpoint, rate float64) int {
 	if !(rate > 0) {
 		return 0
 	}
 	period, _, _ := s.cfg.Period(now)
-	budget := roundBudget(min(rate, 1e6)*s.cfg.Epoch.Seconds()/2, endpoint, period/2)
+	budget := roundBudget(min(rate, maxAllocatedRate)*s.cfg.Epoch.Seconds()/2, endpoint, period/2)
 	return s.ownTokens(now, period, budget, endpoint, s.leaseHolders(now))
 }
 
-// tokens deals a budget: whole in an epoch's first half, and what is known not to
-// have been spent in the second. Who has not reported since the first half's end counts as
-// having spent all that he had.
-func (s *State) ownTokens(now time.Duration, period int64, budget int, endpoint Endpoint, leaseHolders []string) int {
-	firstHalf := splitTokens(budget, endpoint, period/2*2, leaseHolders)
-	if period%2 == 0 {
-		if s.DisabledGuards.RankedAllocation {
-			return budget
-		}
-		return firstHalf[s.self]
-	}
+// ownTokens is this member's part of a budget: of all of it in an epoch's first period, and of
+// what is known not to have been spent in the second.
+func (s *State) ownTokens(now time.Duration, period int64, budget int, endpoint Endpoint, holders []string) int {
+	isFirst := period%2 == 0
+	firstPeriod := period / 2 * 2
+	tokens := splitTokens(budget, endpoint, firstPeriod, holders)
 	left := budget
-	_, periodStart, _ := s.cfg.Period(now)
-	for _, name := range leaseHolders {
-		member := s.members[name]
-		spent := firstHalf[name]
-		if report := member.report; report != nil && report.Period == period-1 && report.ReportedAt >= periodStart {
-			spent = member.usages[endpoint].Spent
-		} else if report != nil && report.Period == period {
-			spent = member.usages[endpoint].PriorSpent
+	if !isFirst {
+		_, begin, _ := s.cfg.Period(now)
+		for _, name := range holders {
+			left -= s.members[name].spentInPeriod(firstPeriod, begin, endpoint, tokens[name])
 		}
-		left -= spent
+		left = max(left, 0)
+	}
+	switch {
+	case s.DisabledGuards.RankedAllocation:
+		return left
+	case isFirst:
+		return tokens[s.self]
 	}
-	if s.DisabledGuards.RankedAllocation {
-		return max(left, 0)
+	return splitTokens(left, endpoint, period, holders)[s.self]
+}
+
+// spentInPeriod is how many of its tokens a member has spent in a period that ended at a time.
+// A member that has not reported since then counts as having spent all that it was allocated.
+func (m *member) spentInPeriod(period int64, end time.Duration, endpoint Endpoint, allocated int) int {
+	switch {
+	case m.report != nil && m.report.Period == period && m.report.ReportedAt >= end:
+		return m.usages[endpoint].Spent
+	case m.report != nil && m.report.Period == period+1:
+		return m.usages[endpoint].PriorSpent
 	}
-	return splitTokens(max(left, 0), endpoint, period, leaseHolders)[s.self]
+	return allocated
 }
 
-// budget is what all may send a server within an epoch: the sum of their parts, none over
-// clamp times the median.
-func (s *State) epochBudget(now time.Duration, epoch int64, endpoint Endpoint, leaseHolders []string) int {
+// epochBudget is how many connections all members may open to an endpoint within an epoch: the
+// sum of their demands, each limited to a multiple of the median.
+func (s *State) epochBudget(now time.Duration, epoch int64, endpoint Endpoint, holders []string) int {
 	var demands []float64
-	for _, name := range leaseHolders {
-		if member := s.members[name]; member.report != nil && now-member.report.ReportedAt < s.cfg.LeaseTimeout {
-			if usage := member.usages[endpoint]; usage.WarmingUp {
-				demands = append(demands, usage.Demand)
-			}
+	for _, name := range holders {
+		member := s.members[name]
+		if member.report == nil || now-member.report.ReportedAt >= s.cfg.LeaseTimeout {
+			continue
+		}
+		if usage := member.usages[endpoint]; usage.WarmingUp {
+			demands = append(demands, usage.Demand)
 		}
 	}
 	if len(demands) == 0 {
@@ -109,46 +116,3 @@
 	}
 	return roundBudget(sum, endpoint, epoch)
 }
-
-// rounded is a budget in whole tokens: a fraction becomes one more in as many epochs.
-func roundBudget(budget float64, endpoint Endpoint, epoch int64) int {
-	whole, fraction := math.Modf(budget)
-	if float64(hash(endpoint.ID, uint64(endpoint.StartedAt), uint64(epoch))%1e6)/1e6 < fraction {
-		whole++
-	}
-	return int(min(whole, 1e6))
-}
-
-// dealt gives each holder an equal share of the tokens, and one more of the rest to those
-// who come first by their hash with the server and the half. More tokens never mean fewer
-// for anyone, so that members who reckon with different numbers together spend no more
-// than the greatest of them.
-func splitTokens(tokens int, endpoint Endpoint, period int64, leaseHolders []string) map[string]int {
-	ranked := slices.Clone(leaseHolders)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hash(a+"\x00"+endpoint.ID, uint64(endpoint.StartedAt), uint64(period)),
-			hash(b+"\x00"+endpoint.ID, uint64(endpoint.StartedAt), uint64(period))), cmp.Compare(a, b))
-	})
-	tokensByMember := make(map[string]int, len(ranked))
-	for rank, name := range ranked {
-		tokensByMember[name] = tokens / len(ranked)
-		if rank < tokens%len(ranked) {
-			tokensByMember[name]++
-		}
-	}
-	return tokensByMember
-}
-
-func hash(key string, a, b uint64) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(key))
-	for _, x := range [2]uint64{a, b} {
-		for range 8 {
-			h.Write([]byte{byte(x)})
-			x >>= 8
-		}
-	}
-	x := h.Sum64() // FNV's high bits hardly move with the last bytes
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
--- a/internal/fleet/quota/retries.go
+++ b/internal/fleet/quota/retries.go
@@ -2,13 +2,16 @@
 
 import "time"
 
-// Retries is how many more retries this member may make now: what its own first tries
-// allow and it has not used, and its part of what the others have left. Parts are of all
-// members that there are, heard of late or not: several who have heard the same one and not
-// each other would else take more than he has left.
+// unlimitedRetries is the budget while its guard is disabled.
+const unlimitedRetries = 1e6
+
+// RetryBudget is how many more retries this member may make now: what its own first attempts
+// allow and it has not used, and its part of what the others have left. Parts are of all lease
+// holders, with a fresh report or not: several that received the same member's report and not
+// one another's would else take more than that member has left.
 func (s *State) RetryBudget(now time.Duration) float64 {
 	if s.DisabledGuards.RetryBudget {
-		return 1e6
+		return unlimitedRetries
 	}
 	own, others, holders := 0.0, 0.0, 0
 	for name, member := range s.members {
@@ -18,7 +21,8 @@
 		if !s.hasFreshReport(now, member) {
 			continue
 		}
-		if left := s.cfg.RetryRatio*member.report.FirstAttempts - member.report.Retries; name == s.self {
+		left := s.cfg.RetryRatio*member.report.FirstAttempts - member.report.Retries
+		if name == s.self {
 			own = left
 		} else {
 			others += max(left, 0)
--- a/internal/fleet/quota/state.go
+++ b/internal/fleet/quota/state.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Status is what membership says of a member.
+// Status is what membership knows of a member.
 type Status int
 
-// The statuses. Who left has said so and holds nothing any more; who failed may be cut
-// off and sending still.
+// The statuses. A member that has left holds no lease any more; one that failed may only be
+// isolated and go on sending.
 const (
 	Alive Status = iota
 	Failed
@@ -21,24 +21,25 @@
 type member struct {
 	status          Status
 	statusChangedAt time.Duration
-	report          *Report
+	report          *Report // the latest; nil before the first
 	usages          map[Endpoint]Usage
 }
 
 // State is what one member knows of all. It is not safe for concurrent use.
 type State struct {
-	self           string
-	cfg            Config
-	members        map[string]*member
 	DisabledGuards Guards
+
+	self    string
+	cfg     Config
+	members map[string]*member
 }
 
-// New returns the state of a member that knows nobody else.
+// NewState returns the state of a member that knows no other.
 func NewState(self string, cfg Config) *State {
 	return &State{self: self, cfg: cfg, members: map[string]*member{self: {}}}
 }
 
-// Saw takes news of a member's status.
+// SetMemberStatus takes a member's status; new members are added while they are alive.
 func (s *State) SetMemberStatus(now time.Duration, name string, status Status) {
 	current := s.members[name]
 	if current == nil {
@@ -53,8 +54,8 @@
 	}
 }
 
-// Merge takes a report, of this member or of another that membership knows, and tells
-// whether it was news.
+// Merge takes a report, of this member or of another that membership knows, and returns whether
+// it was accepted as plausible and newer than the last one.
 func (s *State) Merge(report Report) bool {
 	sender := s.members[report.Member]
 	if sender == nil || !report.isPlausible() || sender.report != nil && !report.isNewerThan(sender.report) {
@@ -77,7 +78,7 @@
 	return reports
 }
 
-// Members returns the status of all who are not forgotten, by name.
+// Members returns the status of each member, by name.
 func (s *State) Members() map[string]Status {
 	statuses := make(map[string]Status, len(s.members))
 	for name, current := range s.members {
@@ -95,7 +96,7 @@
 	return names
 }
 
-// Forget drops members that have left or been silent for longer than the hold.
+// RemoveExpired removes members that have left, or failed for longer than the LeaseTimeout.
 func (s *State) RemoveExpired(now time.Duration) {
 	for name, current := range s.members {
 		if name != s.self && !s.holdsLease(now, current) {
@@ -104,7 +105,7 @@
 	}
 }
 
-// holds tells whether a member's tokens are still its own.
+// holdsLease reports whether a member's tokens are still its own.
 func (s *State) holdsLease(now time.Duration, holder *member) bool {
 	switch holder.status {
 	case Left:
@@ -115,12 +116,16 @@
 	return true
 }
 
-// holders are the members among whom tokens are dealt, by name.
+// leaseHolders returns the members among whom tokens are allocated, by name.
 func (s *State) leaseHolders(now time.Duration) []string {
 	return slices.DeleteFunc(s.memberNames(), func(name string) bool { return !s.holdsLease(now, s.members[name]) })
 }
 
-// fresh tells whether a member's word counts as of late.
+// hasFreshReport reports whether a member's report of outliers and retries counts.
 func (s *State) hasFreshReport(now time.Duration, sender *member) bool {
-	return sender.report != nil && sender.report.ReportedAt <= now+s.cfg.ReportTTL && now-sender.report.ReportedAt < s.cfg.ReportTTL && sender.status != Left
+	if sender.report == nil || sender.status == Left {
+		return false
+	}
+	reportedAt := sender.report.ReportedAt
+	return reportedAt <= now+s.cfg.ReportTTL && now-reportedAt < s.cfg.ReportTTL
 }
