--- /dev/null
+++ b/internal/fleet/quota/testfleet_test.go
@@ -0,0 +1,69 @@
+package quota
+
+import (
+	"fmt"
+	"time"
+)
+
+var cfg = Config{
+	Epoch:              1500 * time.Millisecond,
+	LeaseTimeout:       30 * time.Second,
+	ReportTTL:          3 * time.Second,
+	RetryRatio:         0.2,
+	MaxOutlierFraction: 0.25,
+}
+
+var warmingEndpoint = Endpoint{ID: "s", StartedAt: 7}
+
+const startTime = 1_000_000 * 1500 * time.Millisecond // when an epoch begins
+
+// testFleet is some members, each with a state of its own.
+type testFleet struct {
+	names  []string
+	states []*State
+	seq    uint64
+	now    time.Duration
+}
+
+func newTestFleet(members int) *testFleet {
+	fleet := &testFleet{now: startTime}
+	for i := range members {
+		fleet.names = append(fleet.names, fmt.Sprint("n", i))
+	}
+	for _, name := range fleet.names {
+		state := NewState(name, cfg)
+		for _, other := range fleet.names {
+			state.SetMemberStatus(fleet.now, other, Alive)
+		}
+		fleet.states = append(fleet.states, state)
+	}
+	return fleet
+}
+
+// report has member i report, and returns the report for those that receive it.
+func (f *testFleet) report(i int, period int64, usages ...Usage) Report {
+	f.seq++
+	report := Report{
+		Member:      f.names[i],
+		Incarnation: 1,
+		Seq:         f.seq,
+		ReportedAt:  f.now,
+		Period:      period,
+		Usages:      usages,
+	}
+	f.states[i].Merge(report)
+	return report
+}
+
+// reportToAll has member i report to all members.
+func (f *testFleet) reportToAll(i int, usage Usage) {
+	report := f.report(i, 0, usage)
+	for _, state := range f.states {
+		state.Merge(report)
+	}
+}
+
+// warmingUsage is a usage of the warming endpoint.
+func warmingUsage(demand float64) Usage {
+	return Usage{Endpoint: warmingEndpoint, WarmingUp: true, Demand: demand}
+}
