--- a/internal/fleet/slo/allocation.go
+++ b/internal/fleet/slo/allocation.go
@@ -8,7 +8,7 @@
 )
 
 // checkZones says which of the zones a contract may not use.
-func (c *Contract) checkZones(shares map[string]float64) error {
+func (c *Contract) checkZones(shares Shares) error {
 	for _, zone := range slices.Sorted(maps.Keys(shares)) {
 		if len(c.Zones) > 0 && !slices.Contains(c.Zones, zone) {
 			return fmt.Errorf("contract %q: may not use zone %.64q", c.Name, zone)
@@ -30,7 +30,7 @@
 	if len(a.Shares) > maxZones {
 		return fmt.Errorf("contract %q: %d zones, at most %d", contract.Name, len(a.Shares), maxZones)
 	}
-	sum, shares := 0, make(map[string]float64, len(a.Shares))
+	sum, shares := 0, make(Shares, len(a.Shares))
 	for _, zone := range slices.Sorted(maps.Keys(a.Shares)) {
 		share, ok := toThousandths(a.Shares[zone])
 		if !ok || !isValidName(zone, maxNameBytes) {
--- a/internal/fleet/slo/contract.go
+++ b/internal/fleet/slo/contract.go
@@ -20,14 +20,17 @@
 
 // Allocation says where a contract's sessions go: shares of regions that add up to 1.
 type Allocation struct {
-	Contract            string             `json:"contract"`
-	Shares              map[string]float64 `json:"shares"`           // in whole thousandths
-	SteeredAt           int64              `json:"since"`            // Unix ms
-	PreviouslySteeredAt int64              `json:"before,omitempty"` // Unix ms; 0 if never
-	Overflow            float64            `json:"over,omitempty"`   // fraction of its set-ups without capacity
-	UnmetReason         string             `json:"unkept,omitempty"` // why its objective can't be met; empty where it can
+	Contract            string  `json:"contract"`
+	Shares              Shares  `json:"shares"`           // in whole thousandths
+	SteeredAt           int64   `json:"since"`            // Unix ms
+	PreviouslySteeredAt int64   `json:"before,omitempty"` // Unix ms; 0 if never
+	Overflow            float64 `json:"over,omitempty"`   // fraction of its set-ups without capacity
+	UnmetReason         string  `json:"unkept,omitempty"` // why its objective can't be met; empty where it can
 }
 
+// Shares are fractions by region.
+type Shares map[string]float64
+
 // Limits of what the replicated state holds.
 const (
 	maxContracts   = 4096
--- a/internal/fleet/slo/controller.go
+++ b/internal/fleet/slo/controller.go
@@ -16,6 +16,9 @@
 	Load           float64 // as reported, over capacity; negative if unknown
 }
 
+// Demand is session set-ups a second by contract.
+type Demand map[string]float64
+
 // Controller weighs observations and decides where contracts go. It is not safe for concurrent
 // use.
 type Controller struct {
@@ -44,11 +47,10 @@
 const maxAllocationsBytes = 200_000
 
 // Evaluate takes the observations since the last call and returns the change to propose and the
-// reason in words; ok is false if there is none. now is Unix time, demand is session set-ups a
-// second by contract. The change depends on the replicated state and the evidence alone, so a
-// new leader goes on where the last one was.
+// reason in words; ok is false if there is none. now is Unix time. The change depends on the
+// replicated state and the evidence alone, so a new leader goes on where the last one was.
 func (c *Controller) Evaluate(
-	now time.Duration, state State, observations []Observation, regions []Region, demand map[string]float64,
+	now time.Duration, state State, observations []Observation, regions []Region, demand Demand,
 ) (change Change, reason string, ok bool) {
 	c.Observe(state, observations)
 	clear(c.pooledCounts)
@@ -117,7 +119,7 @@
 func (c *Controller) proposedAllocation(
 	now time.Duration, state State, p *placement, regions []regionCapacity,
 ) (allocation Allocation, isNews bool) {
-	total, overflow, moved, shares := 0, 0, 0, make(map[string]float64, len(regions))
+	total, overflow, moved, shares := 0, 0, 0, make(Shares, len(regions))
 	for r, region := range regions {
 		share := p.next[r] + p.overflow[r]
 		total += share
--- a/internal/fleet/slo/controller_test.go
+++ b/internal/fleet/slo/controller_test.go
@@ -66,7 +66,7 @@
 func exploredShare(t *testing.T, disabled Guards) float64 {
 	sim := newSimulation(t, 30, 3, 3, 0.2)
 	sim.controller.DisabledGuards = disabled
-	sim.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
+	sim.steerAll(Shares{"r00": 0.5, "r01": 0.5})
 	return sim.maxShare("r02")
 }
 
@@ -82,13 +82,13 @@
 // staysAwayOnOldEvidence is 1 if no contract returns to a region that was slow once.
 func staysAwayOnOldEvidence(t *testing.T, disabled Guards) float64 {
 	sim := newSimulation(t, 30, 3, 3, 0.2)
-	sim.steerAll(map[string]float64{"r02": 1})
+	sim.steerAll(Shares{"r02": 1})
 	sim.meanMs["r02"] = 60
 	sim.regions[0].UsableFraction, sim.regions[1].UsableFraction = 0, 0
 	sim.run(2 * time.Minute)
 	for i := range sim.state.Allocations { // another leader moved them away
 		allocation := &sim.state.Allocations[i]
-		allocation.Shares, allocation.UnmetReason = map[string]float64{"r00": 1}, ""
+		allocation.Shares, allocation.UnmetReason = Shares{"r00": 1}, ""
 	}
 	sim.regions[0].UsableFraction, sim.meanMs["r02"] = 1, 10
 	sim.controller.DisabledGuards = disabled
@@ -130,7 +130,7 @@
 // A contract whose error budget is being spent explores nothing, though it could; others do.
 func TestBurningContractsDoNotExplore(t *testing.T) {
 	sim := newSimulation(t, 30, 3, 3, 0.2)
-	sim.steerAll(map[string]float64{"r00": 0.5, "r01": 0.5})
+	sim.steerAll(Shares{"r00": 0.5, "r01": 0.5})
 	for i := range sim.state.Contracts { // some have an objective that no region meets
 		if i%2 == 0 {
 			sim.state.Contracts[i].Objective = 2 * time.Millisecond
--- a/internal/fleet/slo/placement.go
+++ b/internal/fleet/slo/placement.go
@@ -28,7 +28,7 @@
 // newPlacement returns what a contract has now and what it sees of the regions.
 func (c *Controller) newPlacement(
 	now time.Duration, interval int64, state State, contract *Contract,
-	regions []regionCapacity, demand map[string]float64,
+	regions []regionCapacity, demand Demand,
 ) *placement {
 	tracked := c.contracts[contract.Name]
 	tracked.closeWindow(&c.cfg, max(interval-c.mergeLag(), 0))
--- a/internal/fleet/slo/simulation_test.go
+++ b/internal/fleet/slo/simulation_test.go
@@ -70,11 +70,11 @@
 }
 
 // shares says where a contract's sessions go: evenly to its zones while it is not steered.
-func (s *simulation) shares(contract *Contract) map[string]float64 {
+func (s *simulation) shares(contract *Contract) Shares {
 	if allocation, ok := s.state.Allocation(contract.Name); ok {
 		return allocation.Shares
 	}
-	even := map[string]float64{}
+	even := Shares{}
 	for _, zone := range contract.Zones {
 		even[zone] = 1 / float64(len(contract.Zones))
 	}
@@ -97,7 +97,7 @@
 }
 
 // steerAll sends all contracts to some regions, as an earlier leader had them.
-func (s *simulation) steerAll(shares map[string]float64) {
+func (s *simulation) steerAll(shares Shares) {
 	for _, contract := range s.state.Contracts {
 		allocation := Allocation{Contract: contract.Name, Shares: shares, SteeredAt: 1}
 		s.state.Allocations = append(s.state.Allocations, allocation)
--- a/internal/fleet/slo/state_test.go
+++ b/internal/fleet/slo/state_test.go
@@ -38,7 +38,7 @@
 }
 
 func steering(edit func(*Allocation)) Change {
-	allocation := Allocation{Contract: "k", Shares: map[string]float64{"a": 0.25, "b": 0.75}}
+	allocation := Allocation{Contract: "k", Shares: Shares{"a": 0.25, "b": 0.75}}
 	edit(&allocation)
 	return Change{BaseVersion: 1, Allocations: []Allocation{allocation}}
 }
@@ -66,13 +66,13 @@
 		{"dropped", "", Change{BaseVersion: 1, Drop: []string{"k"}}},
 		{"steered", "", steering(func(*Allocation) {})},
 		{"steered by halves of thousandths", "", steering(func(a *Allocation) {
-			a.Shares = map[string]float64{"a": 0.2503, "b": 0.7497}
+			a.Shares = Shares{"a": 0.2503, "b": 0.7497}
 		})},
 		{"steered after another step", "step 3", afterOtherStep},
 		{"too little", "add up", steering(func(a *Allocation) { a.Shares["a"] = 0.2 })},
 		{"below nothing", "a share is", steering(func(a *Allocation) { a.Shares["a"], a.Shares["b"] = -0.5, 1.5 })},
 		{"a zone that it may not use", `zone "c"`, steering(func(a *Allocation) {
-			a.Shares = map[string]float64{"c": 1}
+			a.Shares = Shares{"c": 1}
 		})},
 	} {
 		before := fmt.Sprint(state)
@@ -97,7 +97,7 @@
 			next, err := state.Apply(Change{
 				BaseVersion:           1,
 				BaseAllocationVersion: state.AllocationVersion,
-				Allocations:           []Allocation{{Contract: "k", Shares: map[string]float64{"a": 1}}},
+				Allocations:           []Allocation{{Contract: "k", Shares: Shares{"a": 1}}},
 			}, max(at, 1), mayGrant)
 			if err != nil {
 				continue
