--- a/internal/fleet/slo/allocate.go
+++ b/internal/fleet/slo/allocate.go
@@ -118,7 +118,7 @@
 }
 
 // apportion cuts a whole into parts by weights; the rest goes to the greatest remainders.
-func apportion(whole int, weights []float64) []int {
+func apportion(total int, weights []float64) []int {
 	parts, sum := make([]int, len(weights)), 0.0
 	for _, weight := range weights {
 		sum += weight
@@ -126,9 +126,9 @@
 	if sum <= 0 {
 		return parts
 	}
-	left, order, remainders := whole, make([]int, len(weights)), make([]float64, len(weights))
+	left, order, remainders := total, make([]int, len(weights)), make([]float64, len(weights))
 	for i, weight := range weights {
-		exact := float64(whole) * weight / sum
+		exact := float64(total) * weight / sum
 		parts[i], order[i] = int(exact), i
 		remainders[i] = exact - float64(parts[i])
 		left -= parts[i]
--- a/internal/fleet/slo/controller.go
+++ b/internal/fleet/slo/controller.go
@@ -82,8 +82,8 @@
 		return cmp.Compare(a.contract.Priority, b.contract.Priority)
 	})
 	for _, p := range placements {
-		allocation, isNews := c.proposedAllocation(now, state, p, capacities)
-		if !isNews {
+		allocation, isChanged := c.proposedAllocation(now, state, p, capacities)
+		if !isChanged {
 			continue
 		}
 		if size += allocation.encodedSize(); size > maxAllocationsBytes {
@@ -118,7 +118,7 @@
 // the replicated one to be proposed.
 func (c *Controller) proposedAllocation(
 	now time.Duration, state State, p *placement, regions []regionCapacity,
-) (allocation Allocation, isNews bool) {
+) (allocation Allocation, isChanged bool) {
 	total, overflow, moved, shares := 0, 0, 0, make(Shares, len(regions))
 	for r, region := range regions {
 		share := p.next[r] + p.overflow[r]
@@ -138,11 +138,11 @@
 	previous, _ := state.Allocation(p.contract.Name)
 	previousOverflow, _ := toThousandths(previous.Overflow)
 	overflowChange := max(overflow-previousOverflow, previousOverflow-overflow)
-	isNews = moved >= minMoveThousandths ||
+	isChanged = moved >= minMoveThousandths ||
 		(allocation.UnmetReason == "") != (previous.UnmetReason == "") ||
 		overflowChange >= minOverflowThousandths ||
 		overflow == 0 && previousOverflow > 0
-	return allocation, isNews && p.maySteer && total == thousandths
+	return allocation, isChanged && p.maySteer && total == thousandths
 }
 
 // currentUnmetReason says why an objective can't be met, once that has been so for the
--- a/internal/fleet/slo/histogram.go
+++ b/internal/fleet/slo/histogram.go
@@ -16,21 +16,21 @@
 // none is wider than a sixteenth of its time. Equal buckets merge exactly.
 const (
 	lowestMs, highestMs = 1, int64(maxResponseTime / time.Millisecond)
-	significantFigures  = 1
+	significantDigits   = 1
 
 	maxBucketCount    = 1_000_000 // in a bucket of one sample
 	maxHistogramBytes = 1024      // encoded
 )
 
 // bucketLayout only says where the buckets lie; nothing is recorded in it.
-var bucketLayout = hdr.New(lowestMs, highestMs, significantFigures)
+var bucketLayout = hdr.New(lowestMs, highestMs, significantDigits)
 
 // Histogram is an encoded histogram: for each bucket that is not empty, by time, the distance
 // in ms to the one before and the count, as varints.
 type Histogram []byte
 
 func newPackedHistogram() *hdr.PackedHistogram {
-	return hdr.NewPacked(lowestMs, highestMs, significantFigures)
+	return hdr.NewPacked(lowestMs, highestMs, significantDigits)
 }
 
 func encodeHistogram(packed *hdr.PackedHistogram) Histogram {
--- a/internal/fleet/zonestatus/capacity.go
+++ b/internal/fleet/zonestatus/capacity.go
@@ -87,8 +87,8 @@
 				}
 				share = max(share, minShare)
 			}
-			highFor := c.heldFor(draft.now, observer, zone, shareTooHigh, isPartial && share < pair.Share)
-			lowFor := c.heldFor(draft.now, observer, zone, shareTooLow, isPartial && share > pair.Share)
+			highFor := c.trackCondition(draft.now, observer, zone, shareTooHigh, isPartial && share < pair.Share)
+			lowFor := c.trackCondition(draft.now, observer, zone, shareTooLow, isPartial && share > pair.Share)
 			reduces, raises := highFor >= c.cfg.ConfirmInterval, lowFor >= c.cfg.StableInterval
 			changedLately := pair.ChangedAt > 0 && draft.elapsedSince(pair.ChangedAt) < c.cfg.MinChangeInterval
 			if !reduces && !raises || changedLately {
--- a/internal/fleet/zonestatus/controller.go
+++ b/internal/fleet/zonestatus/controller.go
@@ -86,9 +86,9 @@
 	return change, strings.Join(draft.reasons, "; "), true
 }
 
-// heldFor records whether a condition holds now and returns for how long it has; negative if
+// trackCondition records whether a condition holds now and returns for how long it has; negative if
 // it does not.
-func (c *Controller) heldFor(now time.Duration, from, to string, kind conditionKind, holds bool) time.Duration {
+func (c *Controller) trackCondition(now time.Duration, from, to string, kind conditionKind, holds bool) time.Duration {
 	key := condition{from, to, kind}
 	if !holds {
 		delete(c.conditions, key)
--- a/internal/fleet/zonestatus/evacuate.go
+++ b/internal/fleet/zonestatus/evacuate.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		evidence := view.pair(from, to)
-		unavailableFor := c.heldFor(draft.now, observer, view.zones[to], zoneUnavailable, evidence.unavailable)
+		unavailableFor := c.trackCondition(draft.now, observer, view.zones[to], zoneUnavailable, evidence.unavailable)
 		switch pair := draft.base.pair(observer, view.zones[to]); {
 		case pair.Status.isEvacuated():
 		case evidence.unavailable:
@@ -135,7 +135,7 @@
 	}
 	for _, pair := range draft.base.Pairs {
 		recovered := pair.Status == Suspect && !view.isUnavailable(pair.From, pair.To)
-		if c.heldFor(draft.now, pair.From, pair.To, suspectRecovered, recovered) < c.cfg.StableInterval {
+		if c.trackCondition(draft.now, pair.From, pair.To, suspectRecovered, recovered) < c.cfg.StableInterval {
 			continue
 		}
 		pair.Status = Active
--- a/internal/fleet/zonestatus/recovery.go
+++ b/internal/fleet/zonestatus/recovery.go
@@ -53,7 +53,7 @@
 	for from, observer := range view.zones {
 		evidence := view.pair(from, to)
 		evacuated := draft.base.pair(observer, view.zones[to]).Status.isEvacuated()
-		recoveredFor := c.heldFor(draft.now, observer, view.zones[to], zoneRecovered, evidence.seemsRecovered())
+		recoveredFor := c.trackCondition(draft.now, observer, view.zones[to], zoneRecovered, evidence.seemsRecovered())
 		ready[from] = recoveredFor >= c.cfg.StableInterval || c.DisabledGuards.RecoveryRamp && recoveredFor >= 0
 		switch {
 		case evacuated && view.hasMembers[from]:
@@ -204,10 +204,10 @@
 	serves := evidence.receivers > 0 && !evidence.unavailable
 	failsShare := evidence.receivers > 0 && healthy+stepTolerance < pair.Share
 
-	succeedsFor := c.heldFor(draft.now, pair.From, pair.To, rampStepSucceeds, serves && fullyServes && isConclusive)
-	partialFor := c.heldFor(draft.now, pair.From, pair.To, rampStepEndsPartially, serves && !fullyServes && partlyServes)
-	failsFor := c.heldFor(draft.now, pair.From, pair.To, rampStepFails, failsShare)
-	silentFor := c.heldFor(draft.now, pair.From, pair.To, rampStepSilent, evidence.receivers == 0)
+	succeedsFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepSucceeds, serves && fullyServes && isConclusive)
+	partialFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepEndsPartially, serves && !fullyServes && partlyServes)
+	failsFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepFails, failsShare)
+	silentFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepSilent, evidence.receivers == 0)
 	switch {
 	case failsFor >= c.cfg.ConfirmInterval || silentFor >= 2*c.cfg.StableInterval:
 		return stepFails
--- a/internal/fleet/zonestatus/transition.go
+++ b/internal/fleet/zonestatus/transition.go
@@ -100,15 +100,15 @@
 }
 
 func checkTimes(cfg Config, pair PairStatus) error {
-	heldMs := pair.HeldUntil - pair.ChangedAt
-	isTooLong := heldMs > int64(cfg.MaxHoldInterval/time.Millisecond)
+	holdMs := pair.HeldUntil - pair.ChangedAt
+	isTooLong := holdMs > int64(cfg.MaxHoldInterval/time.Millisecond)
 	switch {
 	case pair.ChangedAt < 0 || pair.Failures < 0 || pair.Failures > maxFailures:
 		return errors.New("since or fails is out of range")
 	case pair.Status != HeldBack && pair.HeldUntil != 0:
 		return fmt.Errorf("until, but it is %v", pair.Status)
 	case pair.Status == HeldBack && (pair.HeldUntil < pair.ChangedAt || isTooLong):
-		return fmt.Errorf("held for %d ms, at most %v are allowed", heldMs, cfg.MaxHoldInterval)
+		return fmt.Errorf("held for %d ms, at most %v are allowed", holdMs, cfg.MaxHoldInterval)
 	}
 	return nil
 }
