--- a/internal/fleet/slo/allocate.go
+++ b/internal/fleet/slo/allocate.go
@@ -117,7 +117,7 @@
 	p.unplaced = 0
 }
 
-// apportion cuts a whole into parts by weights; the rest goes to the greatest remainders.
+// apportion cuts a total into parts by weights; the rest goes to the greatest remainders.
 func apportion(total int, weights []float64) []int {
 	parts, sum := make([]int, len(weights)), 0.0
 	for _, weight := range weights {
--- a/internal/fleet/zonestatus/recovery.go
+++ b/internal/fleet/zonestatus/recovery.go
@@ -205,7 +205,8 @@
 	failsShare := evidence.receivers > 0 && healthy+stepTolerance < pair.Share
 
 	succeedsFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepSucceeds, serves && fullyServes && isConclusive)
-	partialFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepEndsPartially, serves && !fullyServes && partlyServes)
+	servesPart := serves && !fullyServes && partlyServes
+	partialFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepEndsPartially, servesPart)
 	failsFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepFails, failsShare)
 	silentFor := c.trackCondition(draft.now, pair.From, pair.To, rampStepSilent, evidence.receivers == 0)
 	switch {
