--- /dev/null
+++ b/internal/fleet/zonestatus/isolated.go
@@ -0,0 +1,104 @@
+package zonestatus
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// isolatedConfirmFactor is how many times the ConfirmInterval an isolated member waits, as no
+// other member confirms what it observes.
+const isolatedConfirmFactor = 3
+
+// IsolatedController decides for a member that does not receive the replicated log. It keeps
+// to the last committed state and evacuates, on the member's own evidence, one more zone or
+// region at most and never the member's own. A new version of the state or a pause between
+// calls makes it forget what it added. It is not safe for concurrent use.
+type IsolatedController struct {
+	DisabledGuards Guards
+
+	cfg             Config
+	controller      *Controller
+	committed       State // the replicated state
+	local           State // with what this member has added
+	lastEvaluatedAt time.Duration
+}
+
+// NewIsolatedController returns a controller that has seen nothing yet.
+func NewIsolatedController(cfg Config) *IsolatedController {
+	cfg = cfg.withDefaults()
+	cfg.ConfirmInterval *= isolatedConfirmFactor
+	return &IsolatedController{cfg: cfg}
+}
+
+// Evaluate returns what a node of the member's zone may send others, by zone: never more than
+// the committed state allows. now is Unix time.
+func (c *IsolatedController) Evaluate(now time.Duration, state State, report Report) []TrafficLimit {
+	hasPaused := now-c.lastEvaluatedAt > c.cfg.ReportTTL || now < c.lastEvaluatedAt
+	if c.controller == nil || state.Version != c.committed.Version || hasPaused {
+		c.controller, c.committed, c.local = NewController(c.cfg), state, state
+		c.controller.committed = &c.committed
+	}
+	c.lastEvaluatedAt = now
+	c.controller.DisabledGuards = c.DisabledGuards
+	self := Member{Name: report.Member, Zone: report.Zone, Alive: true}
+	if change, _, ok := c.controller.Evaluate(now, c.local, []Report{report}, []Member{self}); ok {
+		if next, err := c.local.Apply(c.cfg, change); err == nil {
+			c.local = next
+		}
+	}
+	return strictest(state.TrafficLimits(report.Zone), c.local.TrafficLimits(report.Zone))
+}
+
+// strictest returns the limits of both lists, for each zone the one with the lower share.
+func strictest(limits, added []TrafficLimit) []TrafficLimit {
+	for _, limit := range added {
+		index := slices.IndexFunc(limits, func(other TrafficLimit) bool { return other.Zone == limit.Zone })
+		switch {
+		case index < 0:
+			limits = append(limits, limit)
+		case limit.Share < limits[index].Share:
+			limits[index] = limit
+		}
+	}
+	slices.SortFunc(limits, func(a, b TrafficLimit) int { return strings.Compare(a.Zone, b.Zone) })
+	return limits
+}
+
+// limitToOneUnit keeps, of what an isolated member would evacuate, one zone or region that the
+// committed state has not evacuated, or none if the member has evacuated one already.
+func (c *Controller) limitToOneUnit(view *fleetView, draft *changeDraft, from int, candidates []int) []int {
+	observer, currentUnit := view.zones[from], ""
+	for _, pair := range draft.base.Pairs {
+		if pair.From == observer && isLocalEvacuation(c.committed.pair(observer, pair.To).Status, pair.Status) {
+			currentUnit = c.cfg.unitOf(pair.To)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(to int) bool {
+		zone := view.zones[to]
+		if to == from || c.committed.pair(observer, zone).Status.isEvacuated() {
+			return true
+		}
+		if currentUnit == "" {
+			currentUnit = c.cfg.unitOf(zone)
+		}
+		return c.cfg.unitOf(zone) != currentUnit
+	})
+}
+
+// isLocalEvacuation reports whether a zone is evacuated, or recovering from it, by the local
+// status only.
+func isLocalEvacuation(committed, local Status) bool {
+	if committed.isEvacuated() {
+		return false
+	}
+	return local.isEvacuated() || local == Recovering && committed != Recovering
+}
+
+// unitOf returns what is evacuated together with a zone: its region or the zone itself.
+func (c Config) unitOf(zone string) string {
+	if region := c.RegionOf(zone); region != "" {
+		return "region " + region
+	}
+	return zone
+}
