--- /dev/null
+++ b/internal/hotrestart/adopt.go
@@ -0,0 +1,116 @@
+package hotrestart
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+
+	"golang.org/x/sys/unix"
+
+	"coralrelay/internal/bufconn"
+	"coralrelay/internal/proxy"
+)
+
+const (
+	// connectionsPerSession are the downstream and the upstream connection, in this order.
+	connectionsPerSession = 2
+	// bytesPerDescriptor is the size of a descriptor in a control message.
+	bytesPerDescriptor = 4
+)
+
+// packet is a message with the descriptors that came with it.
+type packet struct {
+	message []byte
+	control []byte // the socket's control message
+	flags   int    // of recvmsg
+}
+
+func (p packet) carriesDescriptors() bool {
+	return len(p.control) > 0 || p.flags&unix.MSG_CTRUNC != 0
+}
+
+func (p packet) isTruncated() bool { return p.flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) != 0 }
+
+// adopt has one session adopted, which waits at the gate until its sender commits.
+func adopt(received packet, receiver Receiver) (*proxy.CommitGate, error) {
+	conns, err := parseConnections(received.control)
+	var session proxy.EstablishedSession
+	if err == nil {
+		session, err = decodeSession(received, len(conns))
+	}
+	if err == nil {
+		session.Gate = proxy.NewCommitGate()
+		if !receiver.Adopt(session, conns[0], conns[1]) {
+			err = fmt.Errorf("session %s: its id is in use, or this process ends too", session.ID)
+		}
+	}
+	if err != nil {
+		for _, conn := range conns {
+			_ = conn.Close() // the sender's copies stay open
+		}
+		return nil, err
+	}
+	return session.Gate, nil
+}
+
+// decodeSession decodes the session of a message that came with so many connections.
+func decodeSession(received packet, connections int) (session proxy.EstablishedSession, err error) {
+	if received.isTruncated() {
+		return session, errors.New("the message was truncated")
+	}
+	if connections != connectionsPerSession {
+		return session, fmt.Errorf("the message has %d connections, want %d", connections, connectionsPerSession)
+	}
+	if err := json.Unmarshal(received.message, &session); err != nil {
+		return session, err
+	}
+	if max(len(session.FromClient), len(session.FromUpstream)) > bufconn.BufferSize {
+		return session, fmt.Errorf("session %s: more unread bytes than a buffer holds", session.ID)
+	}
+	return session, nil
+}
+
+// parseConnections returns the connections of a control message; with an error, those that
+// were found before it.
+func parseConnections(control []byte) (conns []net.Conn, err error) {
+	messages, err := unix.ParseSocketControlMessage(control)
+	if err != nil {
+		return nil, err
+	}
+	for i := range messages {
+		fds, err := unix.ParseUnixRights(&messages[i])
+		if err != nil {
+			return conns, err
+		}
+		for _, fd := range fds { // to the last one, so that none is left open
+			conn, connErr := connectionOf(fd)
+			if connErr != nil {
+				err = connErr
+			}
+			if conn != nil {
+				conns = append(conns, conn)
+			}
+		}
+		if err != nil {
+			return conns, err
+		}
+	}
+	return conns, nil
+}
+
+// connectionOf returns the connection that a received descriptor stands for, and closes the
+// descriptor. A connection that is not TCP is returned with an error.
+func connectionOf(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "handed over")
+	conn, err := net.FileConn(file) // has a copy of its own
+	_ = file.Close()
+	if err != nil {
+		return nil, err
+	}
+	if _, isTCP := conn.(*net.TCPConn); !isTCP {
+		return conn, errors.New("the connection is not TCP")
+	}
+	return conn, nil
+}
--- a/internal/hotrestart/fakenode_test.go
+++ b/internal/hotrestart/fakenode_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,14 @@
 	"coralrelay/internal/proxy"
 )
 
+// fakeNode is a process at either end: it serves sessions, and each that ends comes on ended.
+type fakeNode struct {
+	ended      chan balance.Outcome
+	adopting   chan struct{} // gets a value at each adoption, which then waits for allowAdopt
+	allowAdopt chan struct{}
+	sessions   sync.WaitGroup
+}
+
 func newFakeNode(t *testing.T) *fakeNode {
 	n := &fakeNode{ended: make(chan balance.Outcome, 9), adopting: make(chan struct{}, 9), allowAdopt: make(chan struct{})}
 	t.Cleanup(n.sessions.Wait) // once the far ends are closed
@@ -30,8 +39,10 @@
 	return true
 }
 
-// stands brings a connection up, and returns it with its far ends.
-func (n *fakeNode) startSession(t *testing.T) (session *proxy.Session, client, server net.Conn, finished <-chan struct{}) {
+// startSession establishes a session, and returns it with the far ends of its connections.
+func (n *fakeNode) startSession(t *testing.T) (
+	session *proxy.Session, client, server net.Conn, finished <-chan struct{},
+) {
 	t.Helper()
 	downstreamConn, client := connectedPair(t)
 	upstreamConn, server := connectedPair(t)
@@ -39,16 +50,16 @@
 	done := make(chan struct{})
 	go func() { defer close(done); session.Run() }()
 	if !session.Establish("UP r1", "s1", bufconn.New(upstreamConn)) {
-		t.Fatal("Up was not taken")
+		t.Fatal("the session could not be established")
 	}
 	for _, c := range []net.Conn{client, server} {
-		c.SetDeadline(time.Now().Add(testTimeout))
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
 	}
 	expectRead(t, client, "UP r1\r\n")
 	return session, client, server, done
 }
 
-// reads reads just what is wanted.
+// expectRead reads as many bytes as are wanted.
 func expectRead(t *testing.T, c io.Reader, want string) {
 	t.Helper()
 	b := make([]byte, len(want))
@@ -57,7 +68,7 @@
 	}
 }
 
-// ends reads to an end that is none by reset.
+// expectEnd reads to an end that is no reset.
 func expectEnd(t *testing.T, c net.Conn, want string) {
 	t.Helper()
 	if all, err := io.ReadAll(c); err != nil || string(all) != want {
--- a/internal/hotrestart/helpers_test.go
+++ b/internal/hotrestart/helpers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -13,7 +14,10 @@
 	"coralrelay/internal/proxy"
 )
 
-// taker keeps what it is given, unless it wants nothing.
+// testTimeout bounds every wait: no test waits this long unless it fails.
+const testTimeout = 10 * time.Second
+
+// fakeReceiver keeps what it adopts, unless it accepts nothing.
 type fakeReceiver struct {
 	mu              sync.Mutex
 	accepts         bool
@@ -27,7 +31,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.accepts {
-		k.sessions, k.downstreamConns, k.upstreamConns = append(k.sessions, s), append(k.downstreamConns, downstreamConn), append(k.upstreamConns, upstreamConn)
+		k.sessions = append(k.sessions, s)
+		k.downstreamConns = append(k.downstreamConns, downstreamConn)
+		k.upstreamConns = append(k.upstreamConns, upstreamConn)
 	}
 	return k.accepts
 }
@@ -38,7 +44,7 @@
 	k.learned = append(k.learned, m)
 }
 
-// close ends what was given: left to the collector, it would be open for others to count.
+// close closes what was adopted: left to the collector, it would be open for others to count.
 func (k *fakeReceiver) close() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -54,7 +60,7 @@
 	return k.sessions[n], k.downstreamConns[n], k.upstreamConns[n]
 }
 
-// pair returns the two ends of a connection.
+// connectedPair returns the two ends of a connection.
 func connectedPair(t *testing.T) (near, far net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -73,7 +79,7 @@
 	return near, far
 }
 
-// serve starts a taker, and returns what ends it.
+// startReceiver starts a receiver at node.1, and returns what ends it.
 func startReceiver(t *testing.T, dir string, k Receiver) (end func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -91,6 +97,20 @@
 	return end
 }
 
+// socketPath is where a receiver at node.1 listens.
+func socketPath(dir string) string { return filepath.Join(dir, socketPrefix+"node.1") }
+
+// listenAt listens as a receiver that the test plays by hand.
+func listenAt(t *testing.T, path string) *net.UnixListener {
+	t.Helper()
+	listener, err := net.ListenUnix(network, &net.UnixAddr{Name: path, Net: network})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
 func dialSender(t *testing.T, dir string) *Sender {
 	t.Helper()
 	sender, err := Dial(dir, "node.1")
@@ -101,11 +121,11 @@
 	return sender
 }
 
-// works tells whether what is written at one end arrives at the other.
+// expectConnected requires that what is written at either end arrives at the other.
 func expectConnected(t *testing.T, near, far net.Conn) {
 	t.Helper()
 	for _, ends := range [][2]net.Conn{{near, far}, {far, near}} {
-		ends[1].SetReadDeadline(time.Now().Add(5 * time.Second))
+		_ = ends[1].SetReadDeadline(time.Now().Add(5 * time.Second))
 		b := make([]byte, 4)
 		if _, err := fmt.Fprint(ends[0], "line"); err != nil {
 			t.Error(err)
@@ -115,7 +135,7 @@
 	}
 }
 
-// descriptors counts those of this process.
+// countOpenDescriptors counts this process's descriptors.
 func countOpenDescriptors(t *testing.T) int {
 	t.Helper()
 	list, err := os.ReadDir("/proc/self/fd")
@@ -125,8 +145,8 @@
 	return len(list)
 }
 
-// settles waits for as many descriptors as there were: others of this process open and
-// close some, too.
+// expectOpenDescriptors waits for as many descriptors as there were: other goroutines of this
+// process open and close some, too.
 func expectOpenDescriptors(t *testing.T, before int) {
 	t.Helper()
 	after := countOpenDescriptors(t)
@@ -137,7 +157,7 @@
 	}
 }
 
-// number is a connection's descriptor.
+// descriptorOf is a connection's descriptor.
 func descriptorOf(t *testing.T, c net.Conn) (fd int) {
 	t.Helper()
 	if err := withDescriptor(c, func(n int) error { fd = n; return nil }); err != nil {
--- a/internal/hotrestart/limits_test.go
+++ b/internal/hotrestart/limits_test.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,7 +18,7 @@
 	"coralrelay/internal/proxy"
 )
 
-// dawdler takes everything, and more than a third of the time for it each.
+// slowReceiver accepts everything, and takes more than a third of the time for each.
 type slowReceiver struct{ fakeReceiver }
 
 func (d *slowReceiver) Adopt(s proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
@@ -32,8 +31,8 @@
 	d.fakeReceiver.Learn(m)
 }
 
-// A taker that is slow with each holds up nobody for longer than one may take: all others
-// are told so by then, and what was taken works.
+// A receiver that is slow with each session holds up none for longer than one may take: all
+// others are rejected by then, and those that were taken work.
 func TestSlowReceiverHoldsUpNoSession(t *testing.T) {
 	dir := t.TempDir()
 	receiver := &slowReceiver{fakeReceiver{accepts: true}}
@@ -53,11 +52,11 @@
 	}
 	takes.Wait()
 	if took := time.Since(begun); took > 2*transferTimeout {
-		t.Errorf("the last was told after %v", took)
+		t.Errorf("the last was decided after %v", took)
 	}
 }
 
-// What is learned holds up nobody either.
+// Learned state holds up no session either.
 func TestSlowReceiverBoundsLearnedState(t *testing.T) {
 	dir := t.TempDir()
 	startReceiver(t, dir, &slowReceiver{fakeReceiver{accepts: true}})
@@ -73,7 +72,7 @@
 	}
 }
 
-// fill takes all descriptors but some; free gives so many back. It ends with the test.
+// exhaustDescriptors takes all descriptors that are left; free gives some back. It ends with the test.
 func exhaustDescriptors(t *testing.T) (free func(n int)) {
 	t.Helper()
 	var previous syscall.Rlimit
@@ -87,7 +86,8 @@
 			_ = f.Close()
 		}
 	})
-	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(countOpenDescriptors(t) + 64), Max: previous.Max}); err != nil {
+	limit := syscall.Rlimit{Cur: uint64(countOpenDescriptors(t) + 64), Max: previous.Max}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		t.Fatal(err)
 	}
 	for {
@@ -105,7 +105,7 @@
 	}
 }
 
-// count is how many numbers below the limit are descriptors, without opening one.
+// countDescriptorsInPlace counts this process's descriptors without opening one.
 func countDescriptorsInPlace() (n int) {
 	for fd := range 4096 {
 		if _, err := unix.FcntlInt(uintptr(fd), unix.F_GETFD, 0); err == nil {
@@ -115,8 +115,8 @@
 	return n
 }
 
-// A taker at its limit takes what it has room for, loses no descriptor over what it has
-// not, and the giver keeps that.
+// A receiver at its limit takes what it has descriptors for and loses none over a session
+// that it has none for, which stays with the sender.
 func TestReceiverAtItsDescriptorLimit(t *testing.T) {
 	dir := t.TempDir()
 	receiver := &fakeReceiver{accepts: true}
@@ -124,7 +124,7 @@
 	sender := dialSender(t, dir)
 	downstreamConn, client := connectedPair(t)
 	upstreamConn, server := connectedPair(t)
-	sender.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
+	sender.SendLearnedState(balance.LearnedState{}) // so that the receiver has accepted
 	free := exhaustDescriptors(t)
 	for left := range 4 {
 		before := countDescriptorsInPlace()
@@ -140,7 +140,7 @@
 	}
 }
 
-// words is told what is logged.
+// logCapture passes on the messages that are logged.
 type logCapture struct {
 	slog.Handler
 	messages chan string
@@ -155,7 +155,7 @@
 	return nil
 }
 
-// A taker that is out of descriptors as its giver comes takes what stands once it has some.
+// A receiver that is out of descriptors as its sender comes takes the sessions once it has some.
 func TestReceiverRetriesAcceptWithoutDescriptors(t *testing.T) {
 	dir := t.TempDir()
 	captured := logCapture{slog.Default().Handler(), make(chan string, 99)}
@@ -175,7 +175,7 @@
 	upstreamConn, _ := connectedPair(t)
 	free := exhaustDescriptors(t)
 	free(1)
-	conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: filepath.Join(dir, socketPrefix+"node.1"), Net: "unixpacket"})
+	conn, err := net.DialUnix(network, nil, &net.UnixAddr{Name: socketPath(dir), Net: network})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,15 +184,15 @@
 	for hasRetried := false; !hasRetried; {
 		select {
 		case <-ended:
-			t.Fatal("the taker has gone")
+			t.Fatal("the receiver has ended")
 		case s := <-captured.messages:
 			hasRetried = strings.Contains(s, "accept")
 		case <-time.After(testTimeout):
-			t.Fatal("nobody has tried to accept the giver")
+			t.Fatal("nobody has tried to accept the sender")
 		}
 	}
 	free(8)
 	if !sender.Take(proxy.EstablishedSession{Server: "s1"}, downstreamConn, upstreamConn) {
-		t.Error("what stands was not taken")
+		t.Error("the session was not taken")
 	}
 }
--- a/internal/hotrestart/receiver.go
+++ b/internal/hotrestart/receiver.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"log/slog"
 	"net"
 	"os"
@@ -14,115 +13,147 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
-	"coralrelay/internal/bufconn"
 	"coralrelay/internal/proxy"
 )
 
-// again is the pause after a giver could not be accepted.
+// acceptRetryDelay is the pause after a sender could not be accepted.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// Taker goes on with connections, and by what the other process has learned. Adopt takes
-// one that its giver still holds: nothing is read or written before s.Hold is committed.
-// If it is false, the connections are the caller's to close.
+// Receiver goes on with sessions, and by what the other process has learned.
 type Receiver interface {
-	Adopt(s proxy.EstablishedSession, caller, hop net.Conn) bool
-	Learn(m balance.LearnedState)
+	// Adopt takes a session that its sender still holds: nothing is read or written before
+	// its CommitGate is committed. If it is false, the connections are for Adopt's caller to
+	// close.
+	Adopt(session proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool
+	Learn(state balance.LearnedState)
 }
 
-// Serve takes connections at a name in a folder, until ctx ends. What an earlier process
-// has left there goes: the name is this one's own.
+// Listen receives sessions at a name in a directory, until ctx ends. What an earlier process
+// has left there is removed: the name is this process's own.
 func Listen(ctx context.Context, goroutines *sync.WaitGroup, dir, name string, receiver Receiver) error {
 	return withSocketAddr(dir, name, func(addr *net.UnixAddr) error {
 		if err := os.Remove(addr.Name); err != nil && !errors.Is(err, os.ErrNotExist) {
 			return err
 		}
-		listener, err := net.ListenUnix("unixpacket", addr)
+		listener, err := net.ListenUnix(network, addr)
 		if err != nil {
 			return err
 		}
 		listener.SetUnlinkOnClose(false) // the name may be the next process's by then
 		context.AfterFunc(ctx, func() { _ = listener.Close() })
-		goroutines.Go(func() {
-			for {
-				conn, err := listener.AcceptUnix()
-				switch {
-				case err == nil:
-					receive(ctx, conn, receiver) // one giver at a time: there is only one process beside this
-				case errors.Is(err, net.ErrClosed):
-					return
-				default: // out of descriptors, most likely: callers must end first, the giver waits
-					slog.Warn("handover: accept", "err", err)
-					time.Sleep(acceptRetryDelay)
-				}
-			}
-		})
+		goroutines.Go(func() { acceptSenders(ctx, listener, receiver) })
 		return nil
 	})
 }
 
-// take takes connections from one giver until it ends.
+// acceptSenders serves one sender at a time, as there is only one other process.
+func acceptSenders(ctx context.Context, listener *net.UnixListener, receiver Receiver) {
+	for {
+		conn, err := listener.AcceptUnix()
+		switch {
+		case err == nil:
+			receive(ctx, conn, receiver)
+		case errors.Is(err, net.ErrClosed):
+			return
+		default: // out of descriptors, most likely: clients must end first, the sender waits
+			slog.Warn("cannot accept the sender of sessions", "component", component, "error", err)
+			time.Sleep(acceptRetryDelay)
+		}
+	}
+}
+
+// receive serves one sender until it ends or ctx does.
 func receive(ctx context.Context, conn *net.UnixConn, receiver Receiver) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.CloseRead() }) // what was committed before still counts
 	defer stop()
 	if !isSameUser(conn) {
-		slog.Error("handover: connections of another user are not taken")
+		slog.Error("sender of sessions runs as another user, rejected", "component", component)
 		return
 	}
-	count := 0
-	defer func() { slog.Info("handover: taken over", "connections", count) }()
-	message, controlMessage := make([]byte, maxMessageBytes), make([]byte, unix.CmsgSpace(2*4))
+	sessions := 0
+	defer func() { slog.Info("sessions taken over", "component", component, "sessions", sessions) }()
+	message := make([]byte, maxMessageBytes)
+	control := make([]byte, unix.CmsgSpace(connectionsPerSession*bytesPerDescriptor))
 	for {
 		_ = conn.SetReadDeadline(time.Time{})
-		size, oob, flags, _, err := conn.ReadMsgUnix(message, controlMessage)
+		size, controlSize, flags, _, err := conn.ReadMsgUnix(message, control)
 		if err != nil || size == 0 {
 			return
 		}
-		if oob == 0 && flags&unix.MSG_CTRUNC == 0 {
-			reply := replyLearned
-			if err := deliverLearnedState(message[:size], receiver); err != nil {
-				slog.Warn("handover: what was learned is not taken", "err", err)
-				reply = replyRejected
-			}
-			if !sendReply(conn, reply) {
+		received := packet{message: message[:size], control: control[:controlSize], flags: flags}
+		if !received.carriesDescriptors() {
+			if !receiveLearnedState(conn, received, receiver) {
 				return
 			}
 			continue
 		}
-		hold, err := adopt(message[:size], controlMessage[:oob], flags&(unix.MSG_TRUNC|unix.MSG_CTRUNC) == 0, receiver)
+		gate, err := adopt(received, receiver)
 		if err != nil {
-			slog.Warn("handover: a connection is not taken", "err", err)
+			slog.Warn("session rejected", "component", component, "error", err)
 			if !sendReply(conn, replyRejected) {
 				return
 			}
 			continue
 		}
-		if !sendReply(conn, replyPrepared) || !awaitCommit(conn) {
-			slog.Warn("handover: a connection stays its giver's, who has not let go of it")
-			hold.Abort()
+		if !commitSession(conn, gate) {
 			return
 		}
-		hold.Commit()
-		count++
+		sessions++
 	}
 }
 
+// receiveLearnedState uses a message of learned state and replies. If it is false, the
+// sender can't be reached.
+func receiveLearnedState(conn net.Conn, received packet, receiver Receiver) bool {
+	if err := deliverLearnedState(received.message, receiver); err != nil {
+		slog.Warn("learned state rejected", "component", component, "error", err)
+		return sendReply(conn, replyRejected)
+	}
+	return sendReply(conn, replyLearned)
+}
+
+// deliverLearnedState decodes a message of learned state for the receiver.
+func deliverLearnedState(message []byte, receiver Receiver) error {
+	var decoded learnedStateMessage
+	if err := json.Unmarshal(message, &decoded); err != nil {
+		return err
+	}
+	if decoded.Learned == nil {
+		return errors.New("the message has neither connections nor learned state")
+	}
+	receiver.Learn(*decoded.Learned)
+	return nil
+}
+
+// commitSession decides an adopted session. If it is false, the session is the sender's and
+// nothing more is to be received.
+func commitSession(conn *net.UnixConn, gate *proxy.CommitGate) bool {
+	if !sendReply(conn, replyPrepared) || !awaitCommit(conn) {
+		slog.Warn("session stays with its sender, which did not commit", "component", component)
+		gate.Abort()
+		return false
+	}
+	gate.Commit()
+	return true
+}
+
 func sendReply(conn net.Conn, reply string) bool {
 	_ = conn.SetWriteDeadline(time.Now().Add(transferTimeout))
 	_, err := conn.Write([]byte(reply))
 	return err == nil
 }
 
-// halves is the part of a giver's connection by which it can be kept from committing.
+// commitReader is the part of a sender's connection by which it can be kept from committing.
 type commitReader interface {
 	SetReadDeadline(t time.Time) error
 	CloseRead() error
 	Read(b []byte) (int, error)
 }
 
-// committed waits until the giver has let go of what was offered. If it is false, that
-// can't come any more: a giver that writes after the end of this half is told that it
-// can't, and what it wrote before is read here.
+// awaitCommit waits for the sender's commit. If it is false, none can come any more: a
+// sender that writes after the end of this half gets an error, and what it wrote before is
+// read here.
 func awaitCommit(conn commitReader) bool {
 	var message [len(commitMessage) + 1]byte
 	_ = conn.SetReadDeadline(time.Now().Add(transferTimeout))
@@ -138,76 +169,3 @@
 	n, err = conn.Read(message[:])
 	return err == nil && string(message[:n]) == commitMessage
 }
-
-// learn passes on what a message says was learned.
-func deliverLearnedState(message []byte, receiver Receiver) error {
-	var decoded learnedStateMessage
-	if err := json.Unmarshal(message, &decoded); err != nil {
-		return err
-	}
-	if decoded.Learned == nil {
-		return errors.New("a message has no connections and teaches nothing")
-	}
-	receiver.Learn(*decoded.Learned)
-	return nil
-}
-
-// prepare has one connection adopted, and held until the giver has let go of it.
-func adopt(message, controlMessage []byte, complete bool, receiver Receiver) (*proxy.CommitGate, error) {
-	conns, err := parseConnections(controlMessage)
-	if err == nil && !complete {
-		err = errors.New("a message came cut off")
-	}
-	if err == nil && len(conns) != 2 {
-		err = fmt.Errorf("%d connections in a message, want 2", len(conns))
-	}
-	var session proxy.EstablishedSession
-	if err == nil {
-		err = json.Unmarshal(message, &session)
-	}
-	if err == nil && max(len(session.FromClient), len(session.FromUpstream)) > bufconn.BufferSize {
-		err = errors.New("more was read than a buffer holds")
-	}
-	session.Gate = proxy.NewCommitGate()
-	if err == nil && !receiver.Adopt(session, conns[0], conns[1]) {
-		err = fmt.Errorf("%s: its id is in use, or this process ends too", session.ID)
-	}
-	if err != nil {
-		for _, conn := range conns {
-			_ = conn.Close() // the giver's copies stay open
-		}
-		return nil, err
-	}
-	return session.Gate, nil
-}
-
-// received returns the connections that came with a message.
-func parseConnections(controlMessage []byte) (conns []net.Conn, err error) {
-	messages, err := unix.ParseSocketControlMessage(controlMessage)
-	if err != nil {
-		return nil, err
-	}
-	for i := range messages {
-		fds, err := unix.ParseUnixRights(&messages[i])
-		if err != nil {
-			return conns, err
-		}
-		for _, fd := range fds {
-			file := os.NewFile(uintptr(fd), "handed over")
-			conn, fileErr := net.FileConn(file) // has a copy of its own
-			_ = file.Close()
-			if fileErr != nil {
-				err = fileErr
-				continue
-			}
-			conns = append(conns, conn)
-			if _, isTCP := conn.(*net.TCPConn); !isTCP {
-				err = errors.New("a connection is none of TCP")
-			}
-		}
-		if err != nil {
-			return conns, err
-		}
-	}
-	return conns, nil
-}
--- a/internal/hotrestart/receiver_test.go
+++ b/internal/hotrestart/receiver_test.go
@@ -14,7 +14,7 @@
 	"coralrelay/internal/bufconn"
 )
 
-// Messages that are none are answered, and cost no descriptor.
+// Messages that are none get a reply, and cost no descriptor.
 func TestRejectsForeignMessages(t *testing.T) {
 	dir := t.TempDir()
 	receiver := &fakeReceiver{accepts: true}
@@ -25,14 +25,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer datagrams.Close()
+	defer func() { _ = datagrams.Close() }()
 	a, b, udp := descriptorOf(t, near), descriptorOf(t, far), descriptorOf(t, datagrams)
 	file, err := os.Open(os.DevNull)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer file.Close()
-	sender.SendLearnedState(balance.LearnedState{}) // so that the taker has accepted
+	sender.SendLearnedState(balance.LearnedState{}) // so that the receiver has accepted
 	before := countOpenDescriptors(t)
 	for name, m := range map[string]struct {
 		text string
@@ -51,7 +51,7 @@
 			t.Fatal(name, err)
 		}
 		answer := make([]byte, 16)
-		sender.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_ = sender.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 		n, err := sender.conn.Read(answer)
 		if string(answer[:n]) != replyRejected {
 			t.Errorf("%s: answered %q, %v", name, answer[:n], err)
--- a/internal/hotrestart/sender.go
+++ b/internal/hotrestart/sender.go
@@ -14,113 +14,130 @@
 	"coralrelay/internal/proxy"
 )
 
-// Giver hands connections to the process that serves at a name in a folder. It is an
-// exchange.Heir; once something has failed, it gives nothing more.
+// Sender hands sessions to the process that listens at a name in a directory. It is a
+// proxy.Successor. Once something has failed, it hands over nothing more. Its methods may
+// be called by several goroutines.
 type Sender struct {
 	mu   sync.Mutex
-	conn *net.UnixConn // nil once it has failed
+	conn *net.UnixConn // nil once it has failed or is closed
 }
 
-// Give connects to the taker.
+// Dial connects to the receiver, which must run as the same user.
 func Dial(dir, name string) (*Sender, error) {
-	g := &Sender{}
-	return g, withSocketAddr(dir, name, func(addr *net.UnixAddr) (err error) {
-		if g.conn, err = net.DialUnix("unixpacket", nil, addr); err == nil && !isSameUser(g.conn) {
-			g.Close()
-			err = errors.New("the taker is another user's")
+	s := &Sender{}
+	return s, withSocketAddr(dir, name, func(addr *net.UnixAddr) (err error) {
+		s.conn, err = net.DialUnix(network, nil, addr)
+		if err == nil && !isSameUser(s.conn) {
+			s.Close()
+			err = errors.New("the receiver runs as another user")
 		}
 		return err
 	})
 }
 
-// Take hands one connection over, within a time that its wait for others counts in. The
-// transaction closes its copies then. If it is false, the taker has neither read nor
-// written anything, and never will.
-func (g *Sender) Take(session proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
+// Take hands one session over, within a time that counts its wait for others. The session
+// closes its own copies of the connections then. If it is false, the receiver has neither
+// read nor written anything, and never will.
+func (s *Sender) Take(session proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
 	message, err := json.Marshal(session)
 	if err != nil || len(message) > maxMessageBytes {
 		return false
 	}
 	deadline := time.Now().Add(transferTimeout)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	offer := func() (err error) {
-		return withDescriptor(downstreamConn, func(downstreamFD int) error {
-			return withDescriptor(upstreamConn, func(upstreamFD int) error {
-				_, _, err := g.conn.WriteMsgUnix(message, unix.UnixRights(downstreamFD, upstreamFD), nil)
-				return err
-			})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offer := func() error { return s.writeOffer(message, downstreamConn, upstreamConn) }
+	return s.roundTrip(deadline, offer) == replyPrepared && s.sendCommit()
+}
+
+// writeOffer writes a message with the descriptors of both connections, under the lock.
+func (s *Sender) writeOffer(message []byte, downstreamConn, upstreamConn net.Conn) error {
+	return withDescriptor(downstreamConn, func(downstreamFD int) error {
+		return withDescriptor(upstreamConn, func(upstreamFD int) error {
+			_, _, err := s.conn.WriteMsgUnix(message, unix.UnixRights(downstreamFD, upstreamFD), nil)
+			return err
 		})
-	}
-	return g.roundTrip(deadline, offer) == replyPrepared && g.sendCommit()
+	})
 }
 
-// Tell passes on what this process has learned. It is called before connections follow,
-// and takes no longer than one of them may.
-func (g *Sender) SendLearnedState(state balance.LearnedState) {
+// SendLearnedState passes on what this process has learned. It is called before sessions
+// follow, and takes no longer than one of them may.
+func (s *Sender) SendLearnedState(state balance.LearnedState) {
 	deadline := time.Now().Add(transferTimeout)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for remaining := state.Servers; ; {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	remaining := state.Servers
+	for {
 		n := min(maxServersPerMessage, len(remaining))
 		state.Servers, remaining = remaining[:n], remaining[n:]
-		message, err := json.Marshal(learnedStateMessage{&state})
-		if err != nil || len(message) > maxMessageBytes || g.roundTrip(deadline, func() error { _, err := g.conn.Write(message); return err }) != replyLearned {
-			slog.Warn("handover: what was learned is not passed on", "err", err, "bytes", len(message))
-			return
-		}
-		if len(remaining) == 0 {
+		if !s.sendLearnedStateMessage(deadline, &state) || len(remaining) == 0 {
 			return
 		}
-		state = balance.LearnedState{} // the rest counts once
+		state = balance.LearnedState{} // all but the servers counts once
+	}
+}
+
+// sendLearnedStateMessage sends one message and reports whether the receiver used it, under
+// the lock.
+func (s *Sender) sendLearnedStateMessage(deadline time.Time, state *balance.LearnedState) bool {
+	message, err := json.Marshal(learnedStateMessage{state})
+	write := func() error {
+		_, err := s.conn.Write(message)
+		return err
+	}
+	if err != nil || len(message) > maxMessageBytes || s.roundTrip(deadline, write) != replyLearned {
+		slog.Warn("learned state not handed over", "component", component, "error", err, "bytes", len(message))
+		return false
 	}
+	return true
 }
 
-// ask has a message written and returns the taker's word on it, under the lock; empty if
-// none came in time.
-func (g *Sender) roundTrip(deadline time.Time, write func() error) string {
-	if g.conn == nil || !time.Now().Before(deadline) {
+// roundTrip has a message written and returns the receiver's reply to it, under the lock;
+// empty if none came in time.
+func (s *Sender) roundTrip(deadline time.Time, write func() error) string {
+	if s.conn == nil || !time.Now().Before(deadline) {
 		return ""
 	}
-	err := g.conn.SetDeadline(deadline)
+	err := s.conn.SetDeadline(deadline)
 	if err == nil {
 		err = write()
 	}
-	var reply [len(replyRejected)]byte
+	var reply [len(replyRejected)]byte // the longest
 	n := 0
 	if err == nil {
-		n, err = g.conn.Read(reply[:])
+		n, err = s.conn.Read(reply[:])
 	}
 	if err != nil {
-		g.fail(err)
+		s.fail(err)
 		return ""
 	}
 	return string(reply[:n])
 }
 
-// commit lets go of what was offered, under the lock and before ask's deadline. A message
-// that was written lies with the taker, who reads all there is before it gives up; one
-// that was not never comes.
-func (g *Sender) sendCommit() bool {
-	_, err := g.conn.Write([]byte(commitMessage))
+// sendCommit makes the offered session the receiver's, under the lock and before
+// roundTrip's deadline. A message that was written reaches the receiver, who reads all there
+// is before it gives up; one that was not never comes.
+func (s *Sender) sendCommit() bool {
+	_, err := s.conn.Write([]byte(commitMessage))
 	if err != nil {
-		g.fail(err)
+		s.fail(err)
 	}
 	return err == nil
 }
 
-func (g *Sender) fail(err error) {
-	slog.Warn("handover: what is left is moved", "err", err)
-	_ = g.conn.Close()
-	g.conn = nil
+// fail closes the connection for good, under the lock.
+func (s *Sender) fail(err error) {
+	slog.Warn("handover failed, the remaining sessions migrate", "component", component, "error", err)
+	_ = s.conn.Close()
+	s.conn = nil
 }
 
-// Close ends the giving; what was handed over stays so.
-func (g *Sender) Close() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.conn != nil {
-		_ = g.conn.Close()
-		g.conn = nil
+// Close ends the hand-over; sessions that were handed over stay the receiver's.
+func (s *Sender) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		_ = s.conn.Close()
+		s.conn = nil
 	}
 }
--- a/internal/hotrestart/sender_test.go
+++ b/internal/hotrestart/sender_test.go
@@ -17,14 +17,14 @@
 	"coralrelay/internal/proxy"
 )
 
-// Both connections go over with all that belongs to them, and outlive the giver's copies,
-// also from a folder whose name is too long for an address.
+// Both connections are handed over with all that belongs to them, and outlive the sender's
+// copies, also in a directory whose name is too long for an address.
 func TestHandsOverSessions(t *testing.T) {
 	for _, dir := range []string{t.TempDir(), filepath.Join(t.TempDir(), strings.Repeat("long", 50))} {
 		if err := os.MkdirAll(dir, 0o700); err != nil {
 			t.Fatal(err)
 		}
-		if err := os.WriteFile(filepath.Join(dir, socketPrefix+"node.1"), []byte("stale"), 0o600); err != nil {
+		if err := os.WriteFile(socketPath(dir), []byte("stale"), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		receiver := &fakeReceiver{accepts: true}
@@ -34,9 +34,13 @@
 			downstreamConn, client := connectedPair(t)
 			upstreamConn, server := connectedPair(t)
 			_ = downstreamConn.(*net.TCPConn).SetNoDelay(false) // whatever it was set to
-			session := proxy.EstablishedSession{Request: proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2,
-				Deadline: time.Now()}, Server: "s1", FromClient: []byte(strings.Repeat("\xff", bufconn.BufferSize)),
-				FromUpstream: []byte(strings.Repeat("\x00", bufconn.BufferSize)), PendingSince: time.Now()}
+			session := proxy.EstablishedSession{
+				Request:      proxy.Request{ID: fmt.Sprint("r", i), Class: "feed", Group: "g", Hint: 2, Deadline: time.Now()},
+				Server:       "s1",
+				FromClient:   []byte(strings.Repeat("\xff", bufconn.BufferSize)),
+				FromUpstream: []byte(strings.Repeat("\x00", bufconn.BufferSize)),
+				PendingSince: time.Now(),
+			}
 			if !sender.Take(session, downstreamConn, upstreamConn) {
 				t.Fatalf("connection %d was not taken", i)
 			}
@@ -51,7 +55,8 @@
 				}
 			}
 			if got.ID != session.ID || got.Server != "s1" || string(got.FromClient) != string(session.FromClient) ||
-				string(got.FromUpstream) != string(session.FromUpstream) || !got.Deadline.Equal(session.Deadline) || !got.PendingSince.Equal(session.PendingSince) || got.Hint != 2 {
+				string(got.FromUpstream) != string(session.FromUpstream) || !got.Deadline.Equal(session.Deadline) ||
+				!got.PendingSince.Equal(session.PendingSince) || got.Hint != 2 {
 				t.Errorf("got %+v", got)
 			}
 			receivedDownstream.Close()
@@ -60,8 +65,8 @@
 	}
 }
 
-// What was learned of a fleet larger than a message arrives, and what is no fleet's counts
-// once; then connections follow.
+// Learned state of more servers than fit into a message arrives, and what is not of a server
+// counts once; then sessions follow.
 func TestSendsLearnedState(t *testing.T) {
 	dir := t.TempDir()
 	receiver := &fakeReceiver{accepts: true}
@@ -69,14 +74,16 @@
 	sender := dialSender(t, dir)
 	state := balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, RecentPlacements: 3}
 	for i := range 1000 {
-		state.Servers = append(state.Servers, balance.LearnedServer{ID: fmt.Sprint("s-", i, strings.Repeat("x", 100)), StartedAt: time.Hour, Load: -1, RecentAttempts: 1.0 / 3})
+		id := fmt.Sprint("s-", i, strings.Repeat("x", 100))
+		state.Servers = append(state.Servers,
+			balance.LearnedServer{ID: id, StartedAt: time.Hour, Load: -1, RecentAttempts: 1.0 / 3})
 	}
 	sender.SendLearnedState(state)
-	sender.SendLearnedState(balance.LearnedState{MeanLoad: 0.25, LoadSamples: 1}) // of no fleet
+	sender.SendLearnedState(balance.LearnedState{MeanLoad: 0.25, LoadSamples: 1}) // without servers
 	downstreamConn, _ := connectedPair(t)
 	upstreamConn, _ := connectedPair(t)
 	if !sender.Take(proxy.EstablishedSession{Server: "s1"}, downstreamConn, upstreamConn) {
-		t.Error("a connection was not taken after it")
+		t.Error("a session was not taken after it")
 	}
 	receiver.mu.Lock()
 	defer receiver.mu.Unlock()
@@ -95,33 +102,23 @@
 	}
 }
 
-// What is not taken, for whatever reason, stays the giver's and works.
+// A session that is not taken, for whatever reason, stays with its sender and works.
 func TestRejectedSessionStaysWithSender(t *testing.T) {
 	for name, start := range map[string]func(t *testing.T, dir string){
 		"unwanted": func(t *testing.T, dir string) { startReceiver(t, dir, &fakeReceiver{}) },
-		"the taker dies": func(t *testing.T, dir string) {
-			l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: filepath.Join(dir, socketPrefix+"node.1"), Net: "unixpacket"})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
+		"the receiver dies": func(t *testing.T, dir string) {
+			listener := listenAt(t, socketPath(dir))
 			go func() {
-				conn, err := l.AcceptUnix()
+				conn, err := listener.AcceptUnix()
 				if err != nil {
 					return
 				}
 				b, oob := make([]byte, maxMessageBytes), make([]byte, 64)
-				_, _, _, _, _ = conn.ReadMsgUnix(b, oob) // it has them, and says nothing
-				conn.Close()
+				_, _, _, _, _ = conn.ReadMsgUnix(b, oob) // it has them, and does not reply
+				_ = conn.Close()
 			}()
 		},
-		"the taker hangs": func(t *testing.T, dir string) {
-			l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: filepath.Join(dir, socketPrefix+"node.1"), Net: "unixpacket"})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { l.Close() })
-		},
+		"the receiver hangs": func(t *testing.T, dir string) { listenAt(t, socketPath(dir)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
@@ -144,6 +141,6 @@
 	}
 	if sender, err := Dial(t.TempDir(), "node.1"); err == nil {
 		sender.Close()
-		t.Error("there is nobody to give to")
+		t.Error("there is no receiver")
 	}
 }
--- a/internal/hotrestart/stored_test.go
+++ b/internal/hotrestart/stored_test.go
@@ -22,16 +22,28 @@
 //	go test ./internal/hotrestart -run TestStored -update
 var update = flag.Bool("update", false, "rewrite testdata/stored by what is written now")
 
-// storedStanding is what standing.json holds, and storedMemory what lesson.json does.
+// storedSession is what standing.json holds, and storedLearnedState what lesson.json does.
 var (
 	storedSession = proxy.EstablishedSession{
-		Request: proxy.Request{ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
+		Request: proxy.Request{
+			ID: "n1.7", Class: "feed", Key: "k:blue", Group: "p:g2", Tenant: "north", CurrentServer: "s9", Hint: 0.25,
 			Retry: true, Returned: true, Deadline: time.Date(2031, 2, 3, 4, 5, 6, 7, time.UTC),
-			ZoneConstraint: &balance.ZoneConstraint{Name: "acme/web", Zones: []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}}, DefaultShare: 0.125}},
-		Server: "s3", FromClient: []byte("are"), FromUpstream: []byte("LOA"), PendingSince: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC)}
-	storedLearnedState = balance.LearnedState{Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002, RecentPlacements: 3, BaselinePlacements: 4,
-		MeanHint: 0.25, HintSamples: 5, Servers: []balance.LearnedServer{
-			{ID: "s1", StartedAt: time.Hour, Load: 0.75, LoadPerConnection: 0.0625, PlacedLoad: 6, Faults: 7, RecentAttempts: 8}}}
+			ZoneConstraint: &balance.ZoneConstraint{
+				Name:         "acme/web",
+				Zones:        []balance.ZoneShare{{Zone: "a", Share: 0.5}, {Zone: "b", Share: 0.75}},
+				DefaultShare: 0.125,
+			},
+		},
+		Server: "s3", FromClient: []byte("are"), FromUpstream: []byte("LOA"),
+		PendingSince: time.Date(2032, 3, 4, 5, 6, 7, 8, time.UTC),
+	}
+	storedLearnedState = balance.LearnedState{
+		Age: time.Minute, MeanLoad: 0.5, LoadSamples: 16, ProbeRTT: 0.001, ProbeRTTDeviation: 0.002,
+		RecentPlacements: 3, BaselinePlacements: 4, MeanHint: 0.25, HintSamples: 5,
+		Servers: []balance.LearnedServer{
+			{ID: "s1", StartedAt: time.Hour, Load: 0.75, LoadPerConnection: 0.0625, PlacedLoad: 6, Faults: 7, RecentAttempts: 8},
+		},
+	}
 )
 
 // stored returns a stored message.
@@ -44,12 +56,12 @@
 	return text
 }
 
-// socketOf is where another version of the process serves.
+// otherVersionSocket is where another version of the process listens.
 func otherVersionSocket(dir string) *net.UnixAddr {
 	return &net.UnixAddr{Name: filepath.Join(dir, "handover2-node.1"), Net: "unixpacket"}
 }
 
-// expectWord reads one message and requires that it is exactly want.
+// expectReply reads one message and requires that it is exactly want.
 func expectReply(t *testing.T, conn net.Conn, want string) {
 	t.Helper()
 	b := make([]byte, 64)
@@ -58,7 +70,7 @@
 	}
 }
 
-// The giver writes exactly the stored bytes and understands the replies of a taker of
+// The sender writes exactly the stored bytes and understands the replies of a receiver of
 // another version.
 func TestStoredMessagesAreWritten(t *testing.T) {
 	dir := t.TempDir()
@@ -66,14 +78,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	sender := dialSender(t, dir)
 	conn, err := l.AcceptUnix()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(testTimeout))
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	expectMessage := func(name, answer string) {
 		t.Helper()
 		message := make([]byte, 1<<16)
@@ -111,7 +123,7 @@
 	await(t, took)
 }
 
-// The taker reads the stored bytes to the same values and replies in the words that a giver
+// The receiver reads the stored bytes to the same values and replies in the words that a sender
 // of another version expects.
 func TestStoredMessagesAreRead(t *testing.T) {
 	dir, receiver := t.TempDir(), &fakeReceiver{accepts: true}
@@ -120,16 +132,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(testTimeout))
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	downstreamConn, _ := connectedPair(t)
 	upstreamConn, _ := connectedPair(t)
+	rights := unix.UnixRights(descriptorOf(t, downstreamConn), descriptorOf(t, upstreamConn))
 	for _, m := range []struct {
 		text   []byte
 		rights []byte
 		answer string
 	}{
-		{stored(t, "standing.json"), unix.UnixRights(descriptorOf(t, downstreamConn), descriptorOf(t, upstreamConn)), "prepared"},
+		{stored(t, "standing.json"), rights, "prepared"},
 		{[]byte("commit"), nil, ""},
 		{stored(t, "lesson.json"), nil, "taken"},
 		{[]byte("no message"), nil, "not taken"},
