Package instancelock: docs say the file's layout, constants have names

Slots, bytes and bounds are named, opening the file is a function of its own, error texts say 'instance lock' and the file.

--- a/internal/instancelock/lock.go
+++ b/internal/instancelock/lock.go
@@ -1,5 +1,16 @@
-// Package beside tells two processes that are one node, the old one and its
-// successor, about each other: whether the other lives, and how many sockets it uses.
+// Package instancelock lets two processes that are one node, a process and its successor,
+// detect each other: whether the sibling process is alive, whether it serves, and how many
+// sockets it uses.
+//
+// They share a file. Byte range locks on it (fcntl's open file description locks) say who is
+// alive and who serves, since a lock ends with its process; the file's bytes hold only the
+// counts of sockets. The layout is shared with processes of other versions and does not change:
+//
+//	bytes 0 and 1    locked by the process in that slot while it lives
+//	bytes 2 and 3    locked by it while it serves
+//	bytes 8 and 16   each slot's count of sockets, 8 bytes, little endian
+//
+// The package starts no goroutines, and none of its calls but Acquire waits.
 package instancelock
 
 import (
@@ -16,36 +27,40 @@
 )
 
 const (
-	// places are the processes that may live at once.
+	// slotCount is how many processes of a node may be alive at once.
 	slotCount = 2
-	// again is the pause between two looks for a free place.
+	// retryInterval is the pause between two attempts to lock a slot.
 	retryInterval = 20 * time.Millisecond
+	// countBytes is the size of a count of sockets in the file.
+	countBytes = 8
+	// maxSocketCount bounds what is believed of the sibling's count, whatever the file says.
+	maxSocketCount = 1 << 20
+	// fileMode keeps other users out.
+	fileMode = 0o600
 )
 
-// ErrFull is told where two processes live already.
-var ErrNoFreeSlot = errors.New("two processes of this node live already")
+// ErrNoFreeSlot is returned where two processes of the node are alive already.
+var ErrNoFreeSlot = errors.New("two processes of this node are alive already")
 
-// Place is one process's: a lock on a byte of a file in a folder that both share. What an
+// Lock is a process's slot: a lock on a byte of a file that both processes share. What an
 // earlier process left in the file counts for nothing: only a lock, which ends with its
-// process, does. A nil Place is that of a process which shares with nobody.
+// process, does. A nil Lock is that of a process which shares with nobody; of its methods
+// Name and SiblingName may not be called. They may be called by several goroutines.
 type Lock struct {
 	file     *os.File
 	baseName string
 	slot     int64
 }
 
-// Take takes a place of the node that listens at an address, in dir, and waits for one
-// until the deadline: the last but one process may still be ending.
+// Acquire locks a slot of the node that listens at an address, in dir, and waits for one
+// until the deadline: the last process but one may still be ending. If none becomes free,
+// the error is an ErrNoFreeSlot.
 func Acquire(dir, listen string, deadline time.Time) (*Lock, error) {
 	name := "coralrelay-" + strings.NewReplacer(":", "-", "/", "-", "[", "", "]", "", "%", "-").Replace(listen)
 	path := filepath.Join(dir, name)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|unix.O_NONBLOCK|unix.O_NOFOLLOW, 0o600)
+	file, err := openShared(path)
 	if err != nil {
-		return nil, fmt.Errorf("beside: %w", err)
-	}
-	if info, err := file.Stat(); err != nil || !info.Mode().IsRegular() || info.Sys().(*syscall.Stat_t).Uid != uint32(os.Getuid()) {
-		_ = file.Close()
-		return nil, fmt.Errorf("beside: %s is no file of this user's", path)
+		return nil, err
 	}
 	for {
 		for slot := range int64(slotCount) {
@@ -57,48 +72,67 @@
 		}
 		if !time.Now().Before(deadline) {
 			_ = file.Close()
-			return nil, fmt.Errorf("beside: %s: %w", path, ErrNoFreeSlot)
+			return nil, fmt.Errorf("instance lock %s: %w", path, ErrNoFreeSlot)
 		}
 		time.Sleep(retryInterval)
 	}
 }
 
-// lock names one byte: the first ones stand for the places, those behind them for the
-// places whose processes take clients.
+// openShared opens or creates the file, which must be a regular one of this user's: dir may
+// be open to others, who could have put something else there.
+func openShared(path string) (*os.File, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|unix.O_NONBLOCK|unix.O_NOFOLLOW, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("instance lock: %w", err)
+	}
+	info, err := file.Stat()
+	if err != nil || !info.Mode().IsRegular() || info.Sys().(*syscall.Stat_t).Uid != uint32(os.Getuid()) {
+		_ = file.Close()
+		return nil, fmt.Errorf("instance lock: %s is not a regular file of this user", path)
+	}
+	return file, nil
+}
+
+// lockRange is one byte of the file: the first slotCount bytes stand for the processes that
+// are alive, those behind them for the processes that serve.
 func lockRange(kind int16, start int64) *unix.Flock_t {
 	return &unix.Flock_t{Type: kind, Start: start, Len: 1}
 }
 
-// at is where a place's count stands, behind all the bytes that are locked.
-func socketCountOffset(slot int64) int64 { return 8 * (1 + slot) }
+// servingByte is locked by the process in a slot while it serves.
+func servingByte(slot int64) int64 { return slotCount + slot }
+
+// socketCountOffset is where a slot's count stands, behind all the bytes that are locked.
+func socketCountOffset(slot int64) int64 { return countBytes * (1 + slot) }
+
+func (l *Lock) siblingSlot() int64 { return 1 - l.slot }
 
 func (l *Lock) writeSocketCount(sockets int) {
-	var count [8]byte
+	var count [countBytes]byte
 	binary.LittleEndian.PutUint64(count[:], uint64(sockets))
 	_, _ = l.file.WriteAt(count[:], socketCountOffset(l.slot)) // a full disk must not end the node
 }
 
-// Mine names this process in the folder, and Other the process beside it.
-func (l *Lock) Name() string        { return fmt.Sprintf("%s.%d", l.baseName, l.slot) }
-func (l *Lock) SiblingName() string { return fmt.Sprintf("%s.%d", l.baseName, 1-l.slot) }
+// Name is this process's in the shared directory.
+func (l *Lock) Name() string { return fmt.Sprintf("%s.%d", l.baseName, l.slot) }
+
+// SiblingName is the sibling process's in the shared directory.
+func (l *Lock) SiblingName() string { return fmt.Sprintf("%s.%d", l.baseName, l.siblingSlot()) }
 
-// Lives tells whether the other process does.
+// IsSiblingAlive reports whether the sibling process is alive.
 func (l *Lock) IsSiblingAlive() bool {
-	if l == nil {
-		return false
-	}
-	return l.isLockedByOther(1 - l.slot)
+	return l != nil && l.isLockedByOther(l.siblingSlot())
 }
 
-// held tells whether another process holds the lock on a byte.
+// isLockedByOther reports whether another process holds the lock on a byte.
 func (l *Lock) isLockedByOther(start int64) bool {
 	query := lockRange(unix.F_WRLCK, start)
 	return unix.FcntlFlock(l.file.Fd(), unix.F_OFD_GETLK, query) == nil && query.Type != unix.F_UNLCK
 }
 
-// Serves tells the other process whether this one takes clients, for as long as it lives.
-// A process that leaves tells so before it asks Succeeded: then of two that leave at once
-// one at least learns it of the other, and the clients are never left to nobody.
+// SetServing shows the sibling process whether this one serves, for as long as it is alive.
+// A process that drains calls it before it asks IsSiblingServing: then of two that drain at
+// once at least one sees that the other does, and the clients are never left to nobody.
 func (l *Lock) SetServing(serving bool) {
 	if l == nil {
 		return
@@ -107,30 +141,32 @@
 	if serving {
 		kind = unix.F_WRLCK
 	}
-	_ = unix.FcntlFlock(l.file.Fd(), unix.F_OFD_SETLK, lockRange(kind, slotCount+l.slot)) // nobody else asks for it
+	_ = unix.FcntlFlock(l.file.Fd(), unix.F_OFD_SETLK, lockRange(kind, servingByte(l.slot))) // nobody else asks for it
 }
 
-// Succeeded tells whether the other process takes clients, so that this one need not.
-func (l *Lock) IsSiblingServing() bool { return l != nil && l.isLockedByOther(slotCount+1-l.slot) }
+// IsSiblingServing reports whether the sibling process serves, so that this one need not.
+func (l *Lock) IsSiblingServing() bool {
+	return l != nil && l.isLockedByOther(servingByte(l.siblingSlot()))
+}
 
-// Share tells how many sockets this process uses, and returns how many the other
-// does, if it lives.
+// ExchangeSocketCounts writes how many sockets this process uses, and returns how many the
+// sibling process does, if it is alive.
 func (l *Lock) ExchangeSocketCounts(own int) (sibling int, alive bool) {
 	if l == nil {
 		return 0, false
 	}
 	l.writeSocketCount(own)
-	var count [8]byte
 	if !l.IsSiblingAlive() {
 		return 0, false
 	}
-	if _, err := l.file.ReadAt(count[:], socketCountOffset(1-l.slot)); err != nil {
+	var count [countBytes]byte
+	if _, err := l.file.ReadAt(count[:], socketCountOffset(l.siblingSlot())); err != nil {
 		return 0, true
 	}
-	return int(min(binary.LittleEndian.Uint64(count[:]), 1<<20)), true // whatever stands there, it is no larger
+	return int(min(binary.LittleEndian.Uint64(count[:]), maxSocketCount)), true
 }
 
-// Close gives the place up.
+// Close gives the slot up.
 func (l *Lock) Close() {
 	if l != nil {
 		_ = l.file.Close()
--- a/internal/instancelock/stored_test.go
+++ b/internal/instancelock/stored_test.go
@@ -65,26 +65,26 @@
 		}
 		return l
 	}
-	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 1) // the second place
+	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 1) // the second slot
 	lock := acquire(t, dir)
 	if lock.Name() != "coralrelay---1-7070.0" || lock.SiblingName() != "coralrelay---1-7070.1" {
-		t.Errorf("this one is %s, the other %s", lock.Name(), lock.SiblingName())
+		t.Errorf("this process is %s, the sibling %s", lock.Name(), lock.SiblingName())
 	}
 	if n, alive := lock.ExchangeSocketCounts(9); n != 0x060504 || !alive {
-		t.Errorf("the other uses %#x sockets, lives: %v", n, alive)
+		t.Errorf("the sibling uses %#x sockets, alive: %v", n, alive)
 	}
 	if lock.IsSiblingServing() {
-		t.Error("succeeded by one that takes no clients")
+		t.Error("a sibling that does not serve is detected as serving")
 	}
-	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 3) // it takes clients
+	fcntl(unix.F_OFD_SETLK, unix.F_WRLCK, 3) // it serves
 	if !lock.IsSiblingServing() {
-		t.Error("not succeeded by one that takes clients")
+		t.Error("a sibling that serves is not detected")
 	}
 	for _, serving := range []bool{false, true} {
 		lock.SetServing(serving)
 		alive, servingRange := fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 0), fcntl(unix.F_OFD_GETLK, unix.F_WRLCK, 2)
 		if alive.Type == unix.F_UNLCK || servingRange.Type == unix.F_UNLCK == serving {
-			t.Errorf("serves: %v, but the locks on bytes 0 and 2 are %d and %d", serving, alive.Type, servingRange.Type)
+			t.Errorf("serving: %v, but the locks on bytes 0 and 2 are %d and %d", serving, alive.Type, servingRange.Type)
 		}
 	}
 }
