--- a/internal/resumption/resumption.go
+++ b/internal/resumption/resumption.go
@@ -1,6 +1,9 @@
-// Package session lets a moved caller of the line protocol go on where it was: it
-// follows the position in the stream that a next hop sends, puts it into the MOVE
-// as a token, and starts the stream of who presents one.
+// Package resumption lets a migrated client of the line protocol go on where it was. It
+// follows the position in the stream that an upstream sends, puts it into the MOVE as a
+// token, and starts the stream of a client that presents one.
+//
+// The package starts no goroutines and returns no errors: a token that can't be redeemed
+// starts the stream from its beginning or from the position that the client states.
 package resumption
 
 import (
@@ -13,7 +16,8 @@
 	"coralrelay/internal/resumetoken"
 )
 
-// Tokens mints and redeems; *ledger.Service does.
+// TokenService mints and redeems resume tokens; *replayguard.Service does. Redeem may ask
+// another node and ends with its context.
 type TokenService interface {
 	Mint(flowKey, group string, pos resumetoken.Position) string
 	Redeem(ctx context.Context, p resumetoken.Presentation) resumetoken.Outcome
@@ -21,11 +25,11 @@
 
 var _ TokenService = (*replayguard.Service)(nil)
 
-// Sessions makes them.
+// Factory makes the resumption of each session. It is a downstream.ResumptionProvider.
 type Factory struct{ Tokens TokenService }
 
-// Continuity returns a caller's session and takes its token out of the line that
-// next hops get.
+// Resumption returns a session's resumption and removes its token from the line that
+// upstreams get.
 func (f Factory) Resumption(request *lineproto.ConnectRequest) proxy.Resumption {
 	s := &sessionResumption{tokens: f.Tokens, flowKey: request.Key, group: request.Group, acceptedAt: time.Now()}
 	if request.ResumeToken != lineproto.ResumeWanted {
@@ -38,40 +42,53 @@
 	return s
 }
 
-// session is one caller's. Begin runs beside the others, which belong to the relay.
+// sessionResumption is a proxy.Resumption. StartLine may run beside the other methods,
+// which are called by one goroutine.
 type sessionResumption struct {
 	tokens            TokenService
 	flowKey, group    string
-	presentedToken    string              // that it presented; empty if none
-	claimedPosition   resumetoken.Outcome // what it says it has: it can only ask for no older
+	presentedToken    string              // by the client; empty if none
+	claimedPosition   resumetoken.Outcome // by the client: it can only ask for nothing older
 	streamPosition    lineproto.StreamPosition
 	acceptedAt        time.Time
-	moveToken         string
+	moveToken         string // of the MOVE, once minted; empty if none could be
 	isMoveTokenMinted bool
 }
 
-// Begin redeems the token now that a next hop has taken the caller: one that gets
-// a busy answer keeps it unspent.
+// StartLine redeems the presented token, now that an upstream has accepted the client: one
+// that gets a busy answer keeps it unspent. The line is empty if the upstream's stream can't
+// be resumed.
 func (s *sessionResumption) StartLine(ctx context.Context, upLine string) string {
 	if !lineproto.IsResumable(upLine) {
 		return ""
 	}
 	outcome := s.claimedPosition
 	if s.presentedToken != "" {
-		redeemed := s.tokens.Redeem(ctx, resumetoken.Presentation{Token: s.presentedToken, FlowKey: s.flowKey, Group: s.group})
-		// Spent, a token still proves what its caller has seen; the caller itself may
-		// say that it has seen more since.
-		claimIsLater := outcome.HasMinPosition && outcome.Position.Epoch == redeemed.Position.Epoch && outcome.Position.Offset > redeemed.Position.Offset
-		if redeemed.CanResume || redeemed.HasMinPosition && !claimIsLater {
-			outcome = redeemed
-		}
+		presentation := resumetoken.Presentation{Token: s.presentedToken, FlowKey: s.flowKey, Group: s.group}
+		outcome = latest(s.claimedPosition, s.tokens.Redeem(ctx, presentation))
 	}
 	return lineproto.FormatStreamStart(outcome, s.acceptedAt)
 }
 
+// latest chooses between what the client claims and what its token says. A spent token still
+// proves which position its client has seen; the client may claim to have seen more since.
+func latest(claimed, redeemed resumetoken.Outcome) resumetoken.Outcome {
+	if redeemed.CanResume {
+		return redeemed
+	}
+	isClaimLater := claimed.HasMinPosition && claimed.Position.Epoch == redeemed.Position.Epoch &&
+		claimed.Position.Offset > redeemed.Position.Offset
+	if redeemed.HasMinPosition && !isClaimLater {
+		return redeemed
+	}
+	return claimed
+}
+
+// Observe follows what the upstream sends.
 func (s *sessionResumption) Observe(text []byte) { s.streamPosition.Observe(text) }
 
-// Ticket is minted once: a caller that is told twice to move has one token.
+// Token returns the token of the MOVE. It is minted once: a client that is asked twice to
+// move has one token.
 func (s *sessionResumption) Token() string {
 	if !s.isMoveTokenMinted {
 		s.isMoveTokenMinted = true
