--- a/cmd/coralrelay/activeconfig.go
+++ b/cmd/coralrelay/activeconfig.go
@@ -12,11 +12,15 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/downstream"
 	"coralrelay/internal/metrics"
-	platform "coralrelay/internal/settings"
+	"coralrelay/internal/settings"
 	"coralrelay/internal/upstream"
 )
 
-// live is the platform's configuration that is in force, and who goes by it.
+// probeTimeout is longer than a busy endpoint needs for an answer to a probe, and shorter than the
+// decision module waits before it probes again.
+const probeTimeout = 500 * time.Millisecond
+
+// activeConfig is the platform's configuration that is in force, and the parts that go by it.
 type activeConfig struct {
 	eventLoop *dispatch.EventLoop
 	pool      *upstream.Pool
@@ -28,20 +32,20 @@
 	current config.Config
 }
 
-// take brings a configuration into force with the parts that count and bound by it, under
-// the lock if they are at work.
+// apply brings a configuration into force with the parts that measure and limit by it, under
+// the lock once they run.
 func (a *activeConfig) apply(cfg config.Config) {
 	classNames := []string{}
 	for _, class := range cfg.Settings.Classes {
 		classNames = append(classNames, class.Name)
 	}
-	a.metrics.AddClasses(classNames...) // before anybody is served by them
+	a.metrics.AddClasses(classNames...) // before any client is served by them
 	a.pool.SetLimits(upstreamLimits(cfg.Settings))
 	a.server.SetRetryAfter(retryAfter(cfg.Settings.Limits))
 	a.current = cfg
 }
 
-// beside is told whether another process places for this node too.
+// setSiblingAlive takes into account whether another process makes placements for this node too.
 func (a *activeConfig) setSiblingAlive(alive bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -52,7 +56,7 @@
 	a.eventLoop.UpdateSettings(a.current.Settings)
 }
 
-// reload reads the platform's configuration again: all of a file takes force, or none.
+// reload reads the platform's configuration again: all of a file comes into force, or none.
 func (a *activeConfig) reload() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -60,22 +64,23 @@
 	next, fixed, err := current.Reload(os.Getenv)
 	if err != nil {
 		a.metrics.ConfigsRejected.Add(1)
-		slog.Error("reload: the old configuration stays", "err", err)
+		slog.Error("configuration reload rejected, the old one stays", "component", componentReload, "error", err)
 		return
 	}
 	if len(fixed) > 0 {
-		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+		slog.Warn("changed keys need a restart", "component", componentReload, "keys", fixed)
 	}
-	next.Settings = platform.ForWatch(next.Settings)
-	next.Settings.Processes = current.Settings.Processes // not the file's to say
+	next.Settings = settings.ForWatch(next.Settings)
+	next.Settings.Processes = current.Settings.Processes // not in the file
 	a.apply(next)
 	a.eventLoop.UpdateSettings(next.Settings)
 	a.watcher.SetAddress(next.Discovery)
 	a.metrics.ConfigsAccepted.Add(1)
-	slog.Info("reloaded", "discovery", next.Discovery, "was", current.Discovery, "classes", len(next.Settings.Classes))
+	slog.Info("configuration reloaded", "component", componentReload, "discovery", next.Discovery,
+		"previous_discovery", current.Discovery, "classes", len(next.Settings.Classes))
 }
 
-// longest is the longest deadline of a class.
+// longestDeadline is the longest deadline of a class.
 func (a *activeConfig) longestDeadline() (longest time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -85,7 +90,11 @@
 	return longest
 }
 
-// hopLimits are the bounds that settings set for what is spent on a next hop.
-func upstreamLimits(settings balance.Settings) upstream.Limits {
-	return upstream.Limits{ConnectTimeout: settings.Limits.ConnectTimeout, ProbeTimeout: probeTimeout, DrainGrace: settings.Rules.DrainGrace}
+// upstreamLimits are the limits that the settings set for work on an endpoint.
+func upstreamLimits(s balance.Settings) upstream.Limits {
+	return upstream.Limits{
+		ConnectTimeout: s.Limits.ConnectTimeout,
+		ProbeTimeout:   probeTimeout,
+		DrainGrace:     s.Rules.DrainGrace,
+	}
 }
--- a/cmd/coralrelay/agentclient.go
+++ b/cmd/coralrelay/agentclient.go
@@ -12,30 +12,62 @@
 	"coralrelay/internal/operatorconfig"
 )
 
-// startFleet keeps the node to the fleet's budgets and routes, as its agent tells them, if one
-// is named. While the agent can't be reached the node goes on by itself. It is called before
-// the Core runs.
-func startAgentClient(ctx context.Context, goroutines *sync.WaitGroup, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop) error {
+// startAgentClient keeps the node to the fleet's quotas and routes, as its agent sends them, if
+// one is configured. While the agent can't be reached the node goes by its own limits. It is
+// called before the event loop runs. Its goroutine ends with ctx.
+func startAgentClient(
+	ctx context.Context, goroutines *sync.WaitGroup, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop,
+) error {
 	if fleet.Agent == "" || mutation.Enabled("deaf") {
 		return nil
 	}
-	logUnreachable := func(err error) {
-		slog.Warn("the fleet's budgets are not known, this node goes by its own", "err", err)
+	client := &agentapi.Client{
+		Addr:           fleet.Agent,
+		MakeReport:     func() agentapi.Report { return agentapi.Report{QuotaUsage: eventLoop.QuotaUsage()} },
+		HandleResponse: func(response agentapi.Response) { eventLoop.ApplyQuotaLease(response.QuotaLease) },
+		OnDisconnect:   logAgentUnreachable,
 	}
-	client := &agentapi.Client{Addr: fleet.Agent, MakeReport: func() agentapi.Report { return agentapi.Report{QuotaUsage: eventLoop.QuotaUsage()} },
-		HandleResponse: func(response agentapi.Response) { eventLoop.ApplyQuotaLease(response.QuotaLease) }, OnDisconnect: logUnreachable}
 	if fleet.ReplicatedLog.IsEnabled() {
-		router, err := newFleetRouter(eventLoop, fleet.AllocationConfig())
-		if err != nil {
-			return fmt.Errorf("fleet: routes: %w", err)
+		if err := addFleetRouter(client, fleet, eventLoop); err != nil {
+			return err
 		}
-		eventLoop.Router = router
-		makeReport, handleResponse := client.MakeReport, client.HandleResponse
-		client.MakeReport = func() agentapi.Report { report := makeReport(); router.fillReport(&report); return report }
-		client.HandleResponse = func(response agentapi.Response) { handleResponse(response); router.handleResponse(&response) }
-		client.OnDisconnect = func(err error) { router.agentLost(); logUnreachable(err) }
 	}
 	addSLOReporter(client, fleet, eventLoop)
 	goroutines.Go(func() { client.Run(ctx) })
 	return nil
 }
+
+// addFleetRouter has requests routed by the tables and leases that the client receives.
+func addFleetRouter(client *agentapi.Client, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop) error {
+	router, err := newFleetRouter(eventLoop, fleet.AllocationConfig())
+	if err != nil {
+		return fmt.Errorf("fleet: routes: %w", err)
+	}
+	eventLoop.Router = router
+	extendClient(client, router.fillReport, router.handleResponse)
+	client.OnDisconnect = func(err error) {
+		router.agentLost()
+		logAgentUnreachable(err)
+	}
+	return nil
+}
+
+// extendClient adds to what the client reports and does with responses, after what it did.
+func extendClient(
+	client *agentapi.Client, fillReport func(*agentapi.Report), handleResponse func(*agentapi.Response),
+) {
+	makeReportBefore, handleResponseBefore := client.MakeReport, client.HandleResponse
+	client.MakeReport = func() agentapi.Report {
+		report := makeReportBefore()
+		fillReport(&report)
+		return report
+	}
+	client.HandleResponse = func(response agentapi.Response) {
+		handleResponseBefore(response)
+		handleResponse(&response)
+	}
+}
+
+func logAgentUnreachable(err error) {
+	slog.Warn("agent unreachable, the node goes by its own limits", "component", componentAgent, "error", err)
+}
--- a/cmd/coralrelay/command.go
+++ b/cmd/coralrelay/command.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-// command reads the command line and does what it says; without a command the node serves.
+// runCommand reads the command line and runs its command; without one the node serves.
 // It is read by package flag and not by kong, as the other commands' are: kong finds methods
 // by name, so the linker keeps every method of every type, which is 2.4 MB resident.
 func runCommand(args []string, out io.Writer, serve func(file string) error) error {
@@ -18,12 +18,13 @@
 	flags := flag.NewFlagSet("coralrelay", flag.ContinueOnError)
 	flags.SetOutput(out)
 	flags.Usage = func() {
-		fmt.Fprintf(out, "Usage: coralrelay [serve] [--config FILE]\n       coralrelay version\n\n%s\n\n", description)
+		_, _ = fmt.Fprintf(out, "Usage: coralrelay [serve] [--config FILE]\n       coralrelay version\n\n%s\n\n", description)
 		flags.PrintDefaults()
 	}
 	file := ""
 	if command == "serve" {
-		flags.StringVar(&file, "config", "", "the operator's own `FILE`, CUE or JSON; without it all that goes beyond the platform is off")
+		flags.StringVar(&file, "config", "",
+			"the operator's own `FILE`, CUE or JSON; without it all that goes beyond the platform is off")
 	}
 	switch err := flags.Parse(args); {
 	case errors.Is(err, flag.ErrHelp):
--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -9,28 +9,30 @@
 )
 
 const (
-	// leastSockets are the line path's, whatever is taken for others.
+	// minClientSockets are left for the line protocol, whatever the configuration takes for UDP.
 	minClientSockets = 64
-	// processDescriptors are open whoever comes: the three of every process, the runtime's
+	// baseDescriptors are open without any client: the three of every process, the runtime's
 	// two, the clients' listener, the watch of discovery and the one that it replaces, a
-	// file that is read again, and two whose branch has just ended.
+	// file that is read again, and two whose attempt has just ended.
 	baseDescriptors = 11
-	// besideDescriptors are a process's that may have another beside it: its place, where
-	// it takes connections, who gives them, and whom it gives them to.
+	// siblingDescriptors are those of a process that may have a sibling: the instance lock, the
+	// hot restart's listener, its sender's connection, and the one to a successor.
 	siblingDescriptors = 4
-	// fleetDescriptors are for the link to the agent, and the one that it replaces.
+	// agentDescriptors are for the connection to the agent, and the one that it replaces.
 	agentDescriptors = 2
 )
 
-// descriptors shares out what a process may hold. Discovery, operators and one kept probe
-// connection to each listed next hop have theirs however many callers there are.
+// descriptorBudget divides the descriptors that a process may hold. Discovery, operators and one
+// idle probe connection to each listed endpoint have theirs however many clients there are.
 type descriptorBudget struct {
 	total int
-	fixed int // of all, for what does not grow with the list
+	fixed int // of total, for what does not grow with the list
 }
 
-// shareOut counts the descriptors of the parts that are switched on.
-func newDescriptorBudget(cfg config.Config, operatorFile operatorconfig.File, lock *instancelock.Lock) descriptorBudget {
+// newDescriptorBudget counts the descriptors of the parts that are switched on.
+func newDescriptorBudget(
+	cfg config.Config, operatorFile operatorconfig.File, lock *instancelock.Lock,
+) descriptorBudget {
 	budget := descriptorBudget{total: cfg.Limits.Sockets, fixed: baseDescriptors}
 	if operatorFile.UDP.Listen != "" {
 		budget.total = max(budget.total-operatorFile.UDP.Sockets, minClientSockets)
@@ -50,8 +52,9 @@
 	return budget
 }
 
-// callers is what is left for callers and their branches while so many next hops are
-// listed; a quarter is theirs whatever the list says.
+// forClients is what is left for clients and their attempts while so many endpoints are listed,
+// without the sockets that linger after their last answer; a quarter is theirs whatever the list
+// says.
 func (d descriptorBudget) forClients(endpoints int) int {
 	remaining := max(d.total-d.fixed-endpoints, d.total/4)
 	return remaining - downstream.LingeringSockets(remaining*16/17)
--- a/cmd/coralrelay/endpoints.go
+++ b/cmd/coralrelay/endpoints.go
@@ -12,17 +12,19 @@
 	"coralrelay/internal/upstream"
 )
 
-// fleet passes a list on: first the addresses, then the decision.
+// endpointUpdater passes a list of endpoints on: first the addresses, then to the event loop. It is
+// called by the watcher's goroutine.
 type endpointUpdater struct {
 	pool              *upstream.Pool
 	eventLoop         *dispatch.EventLoop
-	udpListeners      udp.Listeners // nil where it is off
-	firstListReceived chan struct{} // closed once discovery has said who is there
+	udpListeners      udp.Listeners // nil where UDP is off
+	firstListReceived chan struct{} // closed once discovery has sent a list or a change to one
 	firstListOnce     sync.Once
-	// listed is told how many next hops are listed, before any of them is asked for.
+	// onEndpointCount is called with how many endpoints are listed, before any of them is used.
 	onEndpointCount func(n int)
 }
 
+// UpdateEndpoints passes one list or change on.
 func (f *endpointUpdater) UpdateEndpoints(u discovery.Update) {
 	if mutation.Enabled("drain") {
 		for i := range u.Endpoints {
--- a/cmd/coralrelay/fleetrouter.go
+++ b/cmd/coralrelay/fleetrouter.go
@@ -15,71 +15,78 @@
 	"coralrelay/internal/route"
 )
 
-const (
-	// mostUses bounds the paths that the agent is told of in one word: those used most.
-	maxReportedPaths = 4000
-	// refusalsEvery is the least time between two log lines on refusals, mostRefusals how
-	// many kinds of them one has.
-	rejectionLogInterval, maxLoggedRejections = 10 * time.Second, 8
-)
+// maxReportedPaths bounds the paths in one report to the agent: those used most.
+const maxReportedPaths = 4000
 
-// routes are the operators' routes and the rights on them, as the agent tells them. It is a
-// decide.Router. What the agent says is taken on the link's goroutine, and set for the Core's.
+// fleetRouter routes requests by the tables and the quota leases that the agent sends. It is a
+// dispatch.Router. Responses are handled on the client's goroutine, which sets what the event
+// loop goes by.
 type fleetRouter struct {
 	eventLoop *dispatch.EventLoop
-	halfEpoch time.Duration // half of an epoch
+	halfEpoch time.Duration
 
-	// Of the link's goroutine.
+	// Of the client's goroutine.
 	reassembler       agentapi.Reassembler
 	table             *route.Table // nil for none
-	reportedHalfEpoch int64        // half epoch that the agent was last told of
+	reportedHalfEpoch int64        // the last one whose usage was reported
 	invalidTableLog   logging.Throttled
 
-	// Of the Core's goroutine.
-	activeTable           *route.Table
-	limiter               *route.Limiter
-	agentClockOffset      time.Duration // of the agent's clock over the module's
-	hasUnloggedRejections bool          // and not logged yet
-	rejectionsLoggedAt    time.Time     // when refusals were last logged
-	loggedRejections      map[route.Rejection]uint64
+	// Of the event loop's goroutine.
+	activeTable      *route.Table
+	limiter          *route.Limiter
+	agentClockOffset time.Duration // of the agent's clock over the event loop's
+	rejections       rejectionLog
 }
 
-// newRoutes returns routes without a table: all goes anywhere.
+// newFleetRouter returns a router without a table: requests may go anywhere.
 func newFleetRouter(eventLoop *dispatch.EventLoop, cfg account.LeaseConfig) (*fleetRouter, error) {
 	limiter, err := route.NewLimiter(cfg)
 	if err != nil {
 		return nil, err
 	}
-	return &fleetRouter{eventLoop: eventLoop, halfEpoch: cfg.Epoch / 2, limiter: limiter, loggedRejections: map[route.Rejection]uint64{}}, nil
+	return &fleetRouter{
+		eventLoop:  eventLoop,
+		halfEpoch:  cfg.Epoch / 2,
+		limiter:    limiter,
+		rejections: rejectionLog{logged: map[route.Rejection]uint64{}},
+	}, nil
 }
 
+// now is the agent's time, on the event loop.
 func (r *fleetRouter) now() time.Duration { return r.eventLoop.Now() + r.agentClockOffset }
 
+// find returns the route that a request matches; nil for none.
 func (r *fleetRouter) find(request *dispatch.Request) *route.Route {
 	if r.activeTable == nil {
 		return nil
 	}
-	query := route.Query{Class: request.Class, Tenant: request.Tenant, Group: request.Group, Returning: request.Returned, Retry: request.Retry}
+	query := route.Query{
+		Class:     request.Class,
+		Tenant:    request.Tenant,
+		Group:     request.Group,
+		Returning: request.Returned,
+		Retry:     request.Retry,
+	}
 	if request.Group != "" {
 		query.GroupHash = route.Hash(request.Group)
 	}
 	return r.activeTable.Find(query)
 }
 
-// Admit implements decide.Router.
+// Admit implements dispatch.Router.
 func (r *fleetRouter) Admit(request *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
 	matched := r.find(request)
 	if matched == nil {
 		return nil, nil
 	}
 	if ok, over := r.limiter.Admit(r.now(), matched, request.Retry); !ok {
-		r.hasUnloggedRejections = true
+		r.rejections.isPending = true
 		return nil, &balance.ZoneConstraint{Name: over}
 	}
 	return matched, matched.Bound
 }
 
-// Adopt implements decide.Router.
+// Adopt implements dispatch.Router.
 func (r *fleetRouter) Adopt(request *dispatch.Request) (*route.Route, *balance.ZoneConstraint) {
 	matched := r.find(request)
 	if matched == nil {
@@ -89,34 +96,36 @@
 	return matched, matched.Bound
 }
 
-// Spent implements decide.Router.
-func (r *fleetRouter) AddUsage(on *route.Route, again, probes int) {
-	r.limiter.RecordAttempts(r.now(), on, again, again, probes)
+// AddUsage implements dispatch.Router.
+func (r *fleetRouter) AddUsage(on *route.Route, retries, probes int) {
+	r.limiter.RecordAttempts(r.now(), on, retries, retries, probes)
 }
 
-// Closed implements decide.Router.
+// Release implements dispatch.Router.
 func (r *fleetRouter) Release(on *route.Route) { r.limiter.ConnectionClosed(on) }
 
-// say adds to what the agent is told: once in a half epoch what was used.
+// fillReport adds to the report, once in a half epoch, what was used.
 func (r *fleetRouter) fillReport(report *agentapi.Report) {
 	if r.table != nil {
 		report.TableIndex = r.table.Index
 	}
 	r.reassembler.FillProgress(report)
 	r.eventLoop.RunOnLoop(func(now time.Duration) {
-		if halfEpoch := int64((now + r.agentClockOffset) / r.halfEpoch); halfEpoch != r.reportedHalfEpoch && report.LeaseNumber+report.TableIndex > 0 {
+		agentNow := now + r.agentClockOffset
+		halfEpoch := int64(agentNow / r.halfEpoch)
+		if halfEpoch != r.reportedHalfEpoch && report.LeaseNumber+report.TableIndex > 0 {
 			r.reportedHalfEpoch = halfEpoch
-			usage := r.limiter.Usage(now + r.agentClockOffset)
+			usage := r.limiter.Usage(agentNow)
 			report.Usage = &usage
 		}
-		r.logRejections()
+		r.rejections.log(r.limiter)
 	})
 	if report.Usage != nil {
 		keepMostUsedPaths(report.Usage)
 	}
 }
 
-// bound leaves the paths that are used most, if there are too many.
+// keepMostUsedPaths drops the paths that are used least, if there are too many.
 func keepMostUsedPaths(usage *account.Usage) {
 	if max(len(usage.Used), len(usage.UsedBefore), len(usage.Demand)) <= maxReportedPaths {
 		return
@@ -134,8 +143,7 @@
 	}
 }
 
-// take takes what the agent answers. A table that can't be used leaves the one in force, and
-// is asked for anew, whole.
+// handleResponse takes the tables and leases of the agent's response.
 func (r *fleetRouter) handleResponse(response *agentapi.Response) {
 	if update, ok := r.reassembler.AddTable(response); ok {
 		r.applyUpdate(update)
@@ -150,6 +158,8 @@
 	})
 }
 
+// applyUpdate compiles a table or changes to it. One that can't be used leaves the active table in
+// force, and the next report requests a complete one.
 func (r *fleetRouter) applyUpdate(update route.Update) {
 	var next *route.Table
 	var err error
@@ -160,41 +170,15 @@
 	}
 	if r.table = next; err != nil {
 		r.table = nil
-		r.invalidTableLog.Warn("the fleet's routes can't be used, those before stay", "err", err)
+		r.invalidTableLog.Warn("route table rejected, the previous one stays", "component", componentRoutes, "error", err)
 		return
 	}
 	r.eventLoop.RunOnLoop(func(time.Duration) { r.activeTable = next })
 	if update.Complete || len(update.Set)+len(update.Removed)+len(update.Allocations) > 0 {
-		slog.Info("routes changed", "set", len(update.Set), "gone", len(update.Removed), "steered", len(update.Allocations), "whole", update.Complete)
+		slog.Info("route table updated", "component", componentRoutes, "set", len(update.Set),
+			"removed", len(update.Removed), "allocations", len(update.Allocations), "complete", update.Complete)
 	}
 }
 
-// lost is told when the agent can't be reached: what was used is told anew.
+// agentLost is called when the agent can't be reached: the usage is reported anew.
 func (r *fleetRouter) agentLost() { r.reportedHalfEpoch = 0 }
-
-// logRefusals says what was refused since it last did, the most of it.
-func (r *fleetRouter) logRejections() {
-	now := time.Now()
-	if !r.hasUnloggedRejections || now.Sub(r.rejectionsLoggedAt) < rejectionLogInterval {
-		return
-	}
-	r.hasUnloggedRejections = false
-	total := r.limiter.Rejections()
-	unlogged := maps.Clone(total)
-	for rejection, n := range r.loggedRejections {
-		if unlogged[rejection] -= n; unlogged[rejection] == 0 {
-			delete(unlogged, rejection)
-		}
-	}
-	r.rejectionsLoggedAt, r.loggedRejections = now, total
-	order := slices.SortedFunc(maps.Keys(unlogged), func(a, b route.Rejection) int {
-		return cmp.Or(cmp.Compare(unlogged[b], unlogged[a]), cmp.Compare(a.Level, b.Level), cmp.Compare(a.Resource, b.Resource))
-	})
-	for _, rejection := range order[:min(maxLoggedRejections, len(order))] {
-		slog.Warn("transactions refused: no room on their route", "account", rejection.Account, "level", rejection.Level,
-			"limit", rejection.Resource, "count", unlogged[rejection], "since_start", total[rejection])
-	}
-	if omitted := len(order) - maxLoggedRejections; omitted > 0 {
-		slog.Warn("transactions refused: no room on their route", "further_kinds", omitted)
-	}
-}
--- a/cmd/coralrelay/listener.go
+++ b/cmd/coralrelay/listener.go
@@ -14,11 +14,11 @@
 	"coralrelay/internal/config"
 )
 
-// acceptWithin is how long an accept may look for the client that it was called for: a
-// process that holds the same socket may have taken it.
+// acceptTimeout is how long an accept may wait for the client that it was called for: a process
+// that holds the same socket may have taken it.
 const acceptTimeout = time.Millisecond
 
-// clientsListener opens the clients' listener, or takes the one that the platform holds.
+// openClientListener opens the clients' listener, or takes the one that the platform holds.
 func openClientListener(cfg config.Config) (net.Listener, error) {
 	if cfg.InheritedFD == 0 {
 		listener, err := net.Listen("tcp", cfg.Listen)
@@ -44,7 +44,7 @@
 	return newInheritedListener(listener.(*net.TCPListener))
 }
 
-// listens tells whether l takes TCP connections. A connected socket passes for a
+// isListening reports whether l accepts TCP connections. A connected socket passes for a
 // listener until its first Accept.
 func isListening(l net.Listener) (listening bool) {
 	tcp, ok := l.(*net.TCPListener)
@@ -62,15 +62,15 @@
 	return listening
 }
 
-// inherited is a listener whose socket other processes hold too. Whether an accept blocks
-// is a flag that all of them share, and the platform clears it as it starts another one
-// with the socket: an accept that began just then would wait in the kernel for the next
-// client, and until then the listener's end would wait for it, and with that all that
-// stands. So it is called for a client that is there, right after the flag was set.
+// inheritedListener is a listener whose socket other processes hold too. Whether an accept
+// blocks is a flag that all of them share, and the platform clears it as it starts another
+// process with the socket: an accept that began just then would wait in the kernel for the next
+// client, Close would wait for the accept, and the sessions for Close. So accept is called only
+// when a client waits, right after the flag was set.
 type inheritedListener struct {
 	*net.TCPListener
-	pollFile *os.File // the same socket, to wait on
-	pollConn syscall.RawConn
+	pollFile *os.File        // the same socket, to wait on
+	pollConn syscall.RawConn // of pollFile
 	closed   atomic.Bool
 }
 
@@ -87,7 +87,7 @@
 	return nil, fmt.Errorf("BALANCER_INHERITED_FD: %w", err)
 }
 
-// copied returns a descriptor of l's that can be waited on.
+// duplicateDescriptor returns a descriptor of l's socket that can be waited on.
 func duplicateDescriptor(l *net.TCPListener) (file *os.File, err error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -96,7 +96,7 @@
 	controlErr := raw.Control(func(fd uintptr) {
 		n := 0
 		if n, err = unix.FcntlInt(fd, unix.F_DUPFD_CLOEXEC, 0); err == nil {
-			_ = unix.SetNonblock(n, true) // else nobody could wait on it
+			_ = unix.SetNonblock(n, true) // else the runtime could not wait on it
 			file = os.NewFile(uintptr(n), "clients")
 		}
 	})
@@ -121,7 +121,7 @@
 	}
 }
 
-// there tells whether a client waits, and has an accept not block.
+// prepareAccept reports whether a client waits, and if so sees to it that an accept does not block.
 func prepareAccept(fd uintptr) bool {
 	ready, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
 	if err == nil && ready == 0 {
--- a/cmd/coralrelay/main.go
+++ b/cmd/coralrelay/main.go
@@ -1,5 +1,16 @@
-// Command coralrelay is one node: it takes callers' connections, has the
-// decision module choose a next hop for each, and relays until either side ends.
+// Command coralrelay is one node of the load balancer: it accepts clients' connections, has the
+// decision module choose an endpoint for each, and relays until either side ends.
+//
+// serve goes through the node's stages: it opens the listener, builds the parts, starts them,
+// accepts clients until SIGTERM, and drains. The goroutines of the parts are counted by the
+// node's WaitGroup and end with the context of start, after the drain: the event loop, the watch
+// of discovery, the reload on SIGHUP, the sibling process's monitor, the receiver of handed-over
+// sessions, the operators' server, the agent's client, the UDP listeners and the three of token
+// resumption. The one that accepts clients ends when the drain closes the listener, and those of
+// the sessions with downstream.Server.Close.
+//
+// An error from serve ends the process with exit code 1; its text names the key, variable, file
+// or address that is at fault.
 package main
 
 import (
@@ -38,11 +49,12 @@
 	// Caught from the first moment on: unhandled, either would end the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
-	// Never given back: another one in the last moment would cut the end in good order short.
+	// Never given back: another signal at the last moment would cut the drain short.
 	terminate, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	logging.Setup(os.Stderr, false)
-	if err := runCommand(os.Args[1:], os.Stdout, func(file string) error { return loadAndServe(terminate, hangUps, file) }); err != nil {
-		slog.Error("coralrelay", "err", err)
+	serveFile := func(operatorPath string) error { return loadAndServe(terminate, hangUps, operatorPath) }
+	if err := runCommand(os.Args[1:], os.Stdout, serveFile); err != nil {
+		slog.Error("node failed", "component", componentNode, "error", err)
 		os.Exit(1)
 	}
 }
@@ -53,7 +65,7 @@
 $BALANCER_LISTEN and $BALANCER_DISCOVERY win over the file. SIGHUP reads both files again, SIGTERM
 moves the connections and ends. README.md has the keys.`
 
-// start reads the files and serves. file is the operator's own, empty for none.
+// loadAndServe reads the files and serves. operatorPath is the operator's file, empty for none.
 func loadAndServe(terminate context.Context, hangUps <-chan os.Signal, operatorPath string) error {
 	operatorFile := operatorconfig.Default()
 	if operatorPath != "" {
--- a/cmd/coralrelay/reload.go
+++ b/cmd/coralrelay/reload.go
@@ -9,38 +9,39 @@
 	"coralrelay/internal/operatorconfig"
 )
 
-// reload does what is given on each hang-up, until ctx ends.
-func reloadOnHangUp(ctx context.Context, hangUps <-chan os.Signal, reloaders ...func()) {
+// reloadOnHangUp reads both files again on each hang-up, until ctx ends.
+func (n *node) reloadOnHangUp(ctx context.Context, hangUps <-chan os.Signal) {
+	operatorFile := n.operatorFile // the active one, which comes to differ from the start's
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangUps:
 		}
-		for _, reloadOne := range reloaders {
-			reloadOne()
-		}
+		n.active.reload()
+		operatorFile = reloadOperatorFile(operatorFile, n.operatorPath, n.resumption)
 	}
 }
 
-// reloadOwn reads the operator's file again, if there is one.
-func reloadOperatorFile(current operatorconfig.File, path string, resumption *tokenResumption) operatorconfig.File {
+// reloadOperatorFile reads the operator's file again, if there is one, and returns the one that is
+// in force from now on. What can't be used of it leaves the old in place.
+func reloadOperatorFile(current operatorconfig.File, path string, tokens *tokenResumption) operatorconfig.File {
 	if path == "" {
 		return current
 	}
 	next, err := operatorconfig.Load(path)
 	if err != nil {
-		slog.Error("reload: the operator's old file stays", "err", err)
+		slog.Error("operator file reload rejected, the old one stays", "component", componentReload, "error", err)
 		return current
 	}
 	if fixed := current.ChangedRestartKeys(&next); len(fixed) > 0 {
-		slog.Warn("reload: these keys change with a restart only", "keys", fixed)
+		slog.Warn("changed keys need a restart", "component", componentReload, "keys", fixed)
 	}
 	if err := logging.SetLevel(next.Log.Level); err != nil {
-		slog.Error("reload", "err", err)
+		slog.Error("log level reload rejected, the old one stays", "component", componentReload, "error", err)
 	}
-	if err := resumption.updateConfig(next.Resume); err != nil {
-		slog.Error("reload: the old keys stay", "err", err)
+	if err := tokens.updateConfig(next.Resume); err != nil {
+		slog.Error("resume keys reload rejected, the old ones stay", "component", componentReload, "error", err)
 	}
 	return next
 }
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -4,15 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math"
 	"net"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"sync"
 	"time"
 
-	"coralrelay/balance"
 	"coralrelay/internal/config"
 	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
@@ -21,165 +17,195 @@
 	"coralrelay/internal/instancelock"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/operatorconfig"
-	platform "coralrelay/internal/settings"
+	"coralrelay/internal/settings"
 	"coralrelay/internal/upstream"
 )
 
-const (
-	// probeWait is how long a probe may take: longer than a busy next hop
-	// needs, shorter than the module waits before it asks again.
-	probeTimeout = 500 * time.Millisecond
-	// refused is the pause of callers that are refused unseen: while the node
-	// drains the front still sends some here for 0.4 s.
-	rejectRetryAfter = 500 * time.Millisecond
-	// longestDrain and afterDrain: a planned restart leaves the longest
-	// deadline, at most longestDrain, and 0.7 s. What stays of that is room.
-	maxDrainDeadline = 3 * time.Second
-	drainMargin      = 400 * time.Millisecond
-	// arriving is how long the front still sends callers here after a restart has begun, those
-	// too who are moved.
-	frontUpdateDelay = 400 * time.Millisecond
-)
+// node is this process: its parts and what they share. The stages of serve fill it in, in
+// their order.
+type node struct {
+	cfg          config.Config       // as the process was started
+	operatorFile operatorconfig.File // as the process was started
+	operatorPath string              // of operatorFile; empty for none
+	goroutines   sync.WaitGroup      // all that end with the context of start
+
+	// Of openListener.
+	listener net.Listener
+	lock     *instancelock.Lock // nil if this process shares the listener with nobody
+
+	// Of build.
+	pool      *upstream.Pool
+	updater   *endpointUpdater
+	watcher   *discovery.Watcher
+	eventLoop *dispatch.EventLoop
+	server    *downstream.Server
+	metrics   *metrics.Registry
+	active    *activeConfig
+	sibling   *siblingMonitor // nil without a lock
+
+	// Of start.
+	resumption *tokenResumption // nil where it is off
+}
 
-// serve runs the node until terminate ends, and then lets it end in good order.
-// On each hang-up the configuration is read again, also while the node ends.
-func serve(terminate context.Context, hangUps <-chan os.Signal, cfg config.Config, operatorFile operatorconfig.File, operatorPath string) error {
+// serve runs the node until terminate ends, and then drains it. On each hang-up the
+// configuration is read again, also while the node drains.
+func serve(
+	terminate context.Context, hangUps <-chan os.Signal,
+	cfg config.Config, operatorFile operatorconfig.File, operatorPath string,
+) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	var goroutines sync.WaitGroup
-	var lock *instancelock.Lock
-	defer func() { lock.Close() }() // when all is over: the process beside this one goes by it
-	defer goroutines.Wait()
+	n := &node{cfg: cfg, operatorFile: operatorFile, operatorPath: operatorPath}
+	defer func() { n.lock.Close() }() // when all has ended: the sibling process goes by it
+	defer n.goroutines.Wait()
 	defer cancel()
 
-	listener, err := openClientListener(cfg)
-	if err != nil {
+	if err := n.openListener(); err != nil {
+		return err
+	}
+	defer n.listener.Close() // whatever keeps the node from starting
+	if err := n.acquireLock(); err != nil {
+		return err
+	}
+	if err := n.build(ctx); err != nil {
 		return err
 	}
-	defer listener.Close() // whatever keeps the node from starting
-	if lock, err = acquireInstanceLock(cfg, listener, operatorFile); err != nil {
+	if err := n.start(ctx, hangUps); err != nil {
 		return err
 	}
-	cfg.Settings = platform.ForWatch(cfg.Settings)
-	// A node's start is one of many, a successor's its own.
-	cfg.Settings.SubscribeImmediately = cfg.Settings.SubscribeImmediately || lock.IsSiblingAlive()
-	pool := upstream.New(ctx, upstreamLimits(cfg.Settings))
-	updater := &endpointUpdater{pool: pool, firstListReceived: make(chan struct{})}
-	watcher := discovery.New(cfg.Discovery, updater)
-	eventLoop, err := dispatch.New(dispatch.NewClock(), cfg.Seed, cfg.Settings, pool, watcher)
+	n.awaitFirstList(terminate)
+	served := n.acceptClients(terminate)
+	<-terminate.Done()
+	n.drain()
+	err := <-served
+	n.server.Close()
+	return err
+}
+
+// openListener opens the clients' listener, or takes over the one that the platform holds.
+func (n *node) openListener() (err error) {
+	n.listener, err = openClientListener(n.cfg)
+	return err
+}
+
+// acquireLock acquires the lock that this process shares with its sibling, if it may have one.
+func (n *node) acquireLock() (err error) {
+	n.lock, err = acquireInstanceLock(n.cfg, n.listener, n.operatorFile)
+	return err
+}
+
+// build makes the parts of a session's path and joins them. Nothing runs yet.
+func (n *node) build(ctx context.Context) (err error) {
+	n.cfg.Settings = settings.ForWatch(n.cfg.Settings)
+	if n.lock.IsSiblingAlive() { // a node's start is one of many at once, a successor's its own
+		n.cfg.Settings.SubscribeImmediately = true
+	}
+	n.pool = upstream.New(ctx, upstreamLimits(n.cfg.Settings))
+	n.updater = &endpointUpdater{pool: n.pool, firstListReceived: make(chan struct{})}
+	n.watcher = discovery.New(n.cfg.Discovery, n.updater)
+	n.eventLoop, err = dispatch.New(dispatch.NewClock(), n.cfg.Seed, n.cfg.Settings, n.pool, n.watcher)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	updater.eventLoop = eventLoop
-	pool.SetObserver(eventLoop)
-	if updater.udpListeners, err = startUDP(ctx, &goroutines, cfg, operatorFile.UDP, eventLoop, pool); err != nil {
+	n.updater.eventLoop = n.eventLoop
+	n.pool.SetObserver(n.eventLoop)
+	n.buildServer()
+	n.metrics = &metrics.Registry{}
+	n.active = &activeConfig{
+		eventLoop: n.eventLoop,
+		pool:      n.pool,
+		server:    n.server,
+		watcher:   n.watcher,
+		metrics:   n.metrics,
+	}
+	n.active.apply(n.cfg)
+	n.server.Metrics = n.metrics
+	return nil
+}
+
+// buildServer makes the clients' server, whose share of the descriptors follows the list of
+// endpoints.
+func (n *node) buildServer() {
+	budget := newDescriptorBudget(n.cfg, n.operatorFile, n.lock)
+	limits := downstream.Limits{
+		Sockets:    budget.forClients(len(n.cfg.Known.Endpoints)),
+		RetryAfter: retryAfter(n.cfg.Settings.Limits),
+	}
+	if n.lock != nil {
+		n.sibling = &siblingMonitor{lock: n.lock}
+		limits.UsedElsewhere = n.sibling.usedElsewhere
+	}
+	n.server = downstream.New(n.eventLoop, n.pool, limits)
+	n.updater.onEndpointCount = func(endpoints int) { n.server.SetSocketLimit(budget.forClients(endpoints)) }
+}
+
+// start opens the sockets of the optional parts and starts all goroutines but the one that
+// accepts clients. They end with ctx.
+func (n *node) start(ctx context.Context, hangUps <-chan os.Signal) (err error) {
+	n.updater.udpListeners, err = startUDP(ctx, &n.goroutines, n.cfg, n.operatorFile.UDP, n.eventLoop, n.pool)
+	if err != nil {
 		return err
 	}
-	budget := newDescriptorBudget(cfg, operatorFile, lock)
-	limits := downstream.Limits{Sockets: budget.forClients(len(cfg.Known.Endpoints)), RetryAfter: retryAfter(cfg.Settings.Limits)}
-	sibling := &siblingMonitor{lock: lock}
-	if lock != nil {
-		limits.UsedElsewhere = sibling.usedElsewhere
-	}
-	server := downstream.New(eventLoop, pool, limits)
-	updater.onEndpointCount = func(n int) { server.SetSocketLimit(budget.forClients(n)) }
-	book := &metrics.Registry{}
-	active := &activeConfig{eventLoop: eventLoop, pool: pool, server: server, watcher: watcher, metrics: book}
-	active.apply(cfg)
-	server.Metrics = book
-	if lock != nil {
-		used := func() int { return server.SocketsInUse() + pool.EndpointCount() }
-		goroutines.Go(func() { sibling.run(ctx, cfg.Limits, used, active.setSiblingAlive) })
-	}
-	resume, err := startTokenResumption(ctx, &goroutines, cfg.Name, operatorFile.Resume)
+	if n.sibling != nil {
+		ownSockets := func() int { return n.server.SocketsInUse() + n.pool.EndpointCount() }
+		n.goroutines.Go(func() { n.sibling.run(ctx, n.cfg.Limits, ownSockets, n.active.setSiblingAlive) })
+	}
+	n.resumption, err = startTokenResumption(ctx, &n.goroutines, n.cfg.Name, n.operatorFile.Resume)
 	if err != nil {
 		return err
 	}
-	if resume != nil {
-		server.Resumptions = resume.factory
+	if n.resumption != nil {
+		n.server.Resumptions = n.resumption.factory
 	}
-	if err := startAdmin(ctx, &goroutines, cfg.AdminAddr, adminNode{server, pool, eventLoop, book}); err != nil {
+	operations := adminNode{Server: n.server, pool: n.pool, eventLoop: n.eventLoop, metrics: n.metrics}
+	if err := startAdmin(ctx, &n.goroutines, n.cfg.AdminAddr, operations); err != nil {
 		return err
 	}
-	if err := startAgentClient(ctx, &goroutines, operatorFile.Fleet, eventLoop); err != nil {
+	if err := startAgentClient(ctx, &n.goroutines, n.operatorFile.Fleet, n.eventLoop); err != nil {
 		return err
 	}
-	goroutines.Go(func() { eventLoop.Run(ctx) })
-	goroutines.Go(func() { watcher.Run(ctx, cfg.Known) })
-	goroutines.Go(func() {
-		operatorFile := operatorFile // what is in force, which differs from the start's
-		reloadOnHangUp(ctx, hangUps, active.reload, func() { operatorFile = reloadOperatorFile(operatorFile, operatorPath, resume) })
-	})
-	if lock != nil {
-		if err := hotrestart.Listen(ctx, &goroutines, os.TempDir(), lock.Name(), handoverReceiver{server, eventLoop}); err != nil {
-			slog.Warn("a process before this one can't hand over what stands", "err", err)
-		}
-	}
-	if lock.IsSiblingAlive() { // who serves meanwhile; alone, clients would wait
-		awaitFirstList(terminate, updater.firstListReceived, lock.IsSiblingAlive)
-	}
-	startDraining := func() { // before anything that may take its time
-		if !lock.IsSiblingAlive() {
-			server.StartDraining(time.Now())
-		}
-	}
-	if terminate.Err() != nil { // in the start: nobody is taken at all
-		startDraining()
-	}
-	lock.SetServing(true) // before anybody is told so
-	served := make(chan error, 1)
-	goroutines.Go(func() { served <- server.Serve(listener) })
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "known", len(cfg.Known.Endpoints))
-
-	<-terminate.Done()
-	startDraining()
-	resume.beginDraining()
-	drain(server, eventLoop, listener, lock, min(active.longestDeadline(), maxDrainDeadline))
-	err = <-served
-	server.Close()
-	return err
+	n.goroutines.Go(func() { n.eventLoop.Run(ctx) })
+	n.goroutines.Go(func() { n.watcher.Run(ctx, n.cfg.Known) })
+	n.goroutines.Go(func() { n.reloadOnHangUp(ctx, hangUps) })
+	n.listenForSessions(ctx)
+	return nil
 }
 
-// leave empties the node for good, within the longest deadline and a little more.
-func drain(server *downstream.Server, eventLoop *dispatch.EventLoop, listener net.Listener, lock *instancelock.Lock, longest time.Duration) {
-	startedAt := time.Now()
-	lock.SetServing(false)
-	hasSuccessor := lock.IsSiblingServing() // one that is not ready, or leaves too, would leave clients to nobody
-	slog.Info("draining", "longest", longest, "successor", hasSuccessor)
-	plan := newDrainPlan(startedAt, longest)
-	if hasSuccessor { // who connects from now on is the successor's, who was accepted before is served
-		_ = listener.Close()
-		plan.RejectAt, plan.MoveStartAt = plan.EndAt, startedAt
-		if sender := dialSuccessor(lock); sender != nil {
-			sender.SendLearnedState(eventLoop.ExportLearnedState())
-			plan.Successor = sender
-			defer sender.Close()
-		}
-	}
-	server.Drain(plan)
-	_ = listener.Close()
-	slog.Info("drained", "took", time.Since(startedAt))
+// listenForSessions lets the sibling process hand its sessions over to this one.
+func (n *node) listenForSessions(ctx context.Context) {
+	if n.lock == nil {
+		return
+	}
+	receiver := handoverReceiver{Server: n.server, eventLoop: n.eventLoop}
+	if err := hotrestart.Listen(ctx, &n.goroutines, os.TempDir(), n.lock.Name(), receiver); err != nil {
+		slog.Warn("cannot receive sessions from a previous process", "component", componentNode, "error", err)
+	}
 }
 
-// ending is how a planned restart goes where the longest deadline is so long.
-func newDrainPlan(startedAt time.Time, longest time.Duration) downstream.DrainPlan {
-	end := startedAt.Add(longest + drainMargin)
-	return downstream.DrainPlan{RejectAt: startedAt, MoveStartAt: startedAt.Add(max(longest/2, frontUpdateDelay)), MoveEndAt: end.Add(-3 * drainMargin / 4), EndAt: end}
+// awaitFirstList waits for the first list of endpoints if the sibling process serves
+// meanwhile; without it, clients would wait too.
+func (n *node) awaitFirstList(terminate context.Context) {
+	if n.lock.IsSiblingAlive() {
+		awaitFirstList(terminate, n.updater.firstListReceived, n.lock.IsSiblingAlive)
+	}
 }
 
-// pause is asked of callers that are refused unseen, where the settings allow it.
-func retryAfter(limits balance.Limits) time.Duration {
-	if !limits.SendRetryAfter {
-		return 0
+// acceptClients starts to accept clients. The channel has the server's error once its
+// listener is closed.
+func (n *node) acceptClients(terminate context.Context) <-chan error {
+	if terminate.Err() != nil { // in the start: no client is served at all
+		n.startDraining()
 	}
-	return min(rejectRetryAfter, limits.MaxRetryAfter)
+	n.lock.SetServing(true) // before any client can see it
+	served := make(chan error, 1)
+	n.goroutines.Go(func() { served <- n.server.Serve(n.listener) })
+	slog.Info("serving", "component", componentNode, "name", n.cfg.Name, "listen", n.cfg.Listen,
+		"known_endpoints", len(n.cfg.Known.Endpoints))
+	return served
 }
 
-// limit keeps the process within its machine.
-func applyProcessLimits(limits config.Limits) {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(limits.Cores))))
-	debug.SetMemoryLimit(heapLimit(limits))
+// startDraining has new clients rejected from now on, unless a sibling process may serve them.
+func (n *node) startDraining() {
+	if !n.lock.IsSiblingAlive() {
+		n.server.StartDraining(time.Now())
+	}
 }
-
-// heap is what of the memory the heap may take. The rest is for stacks' growth, the
-// kernel's share and the binary.
-func heapLimit(limits config.Limits) int64 { return int64(limits.MemoryMB) << 20 * 3 / 4 }
--- a/cmd/coralrelay/sloreporter.go
+++ b/cmd/coralrelay/sloreporter.go
@@ -9,49 +9,54 @@
 	"coralrelay/internal/operatorconfig"
 )
 
-// mostDone are the parts of time that wait for the agent to ask: more is too late for it.
+// maxPendingSamples bounds the samples that wait for the next report: older ones are too late
+// for the agent.
 const maxPendingSamples = 2
 
-// promises counts response times by contract and region, for those who decide where
-// contracts go. What is below now belongs to the Core's goroutine.
+// sloReporter samples response times by contract and region, for the agents that steer
+// traffic by them.
 type sloReporter struct {
 	eventLoop    *dispatch.EventLoop
-	regionByZone map[string]string // the region of each zone that is in one
+	regionByZone map[string]string // of the zones that are in a region
 	now          func() time.Duration
 
+	// Of the event loop's goroutine.
 	recorder         *slo.Recorder
-	regionByEndpoint map[string]string // next hops' regions
+	regionByEndpoint map[string]string
 	pending          []slo.Sample
-	contractsVersion uint64 // version of the contracts that count
+	contractsVersion uint64 // of the contracts that are measured
 }
 
-// countPromises has the link tell what the node measures, where contracts are kept.
+// addSLOReporter has the client report what the node measures, where SLOs are switched on.
 func addSLOReporter(client *agentapi.Client, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop) {
 	if !fleet.SLO.Enabled {
 		return
 	}
-	reporter := &sloReporter{eventLoop: eventLoop, regionByZone: map[string]string{}, now: func() time.Duration { return fleet.SLO.Time(time.Duration(time.Now().UnixNano())) },
-		recorder: slo.NewRecorder(fleet.SLO.Config(), fleet.Name, fleet.Zone, time.Now().UnixNano())}
+	reporter := &sloReporter{
+		eventLoop:    eventLoop,
+		regionByZone: map[string]string{},
+		now:          func() time.Duration { return fleet.SLO.Time(time.Duration(time.Now().UnixNano())) },
+		recorder:     slo.NewRecorder(fleet.SLO.Config(), fleet.Name, fleet.Zone, time.Now().UnixNano()),
+	}
 	for region, zones := range fleet.Zones.Regions {
 		for _, zone := range zones {
 			reporter.regionByZone[zone] = region
 		}
 	}
 	eventLoop.SetAttemptObserver(reporter.recordAttempt)
-	makeReport, handleResponse := client.MakeReport, client.HandleResponse
-	client.MakeReport = func() agentapi.Report { report := makeReport(); reporter.fillReport(&report); return report }
-	client.HandleResponse = func(response agentapi.Response) {
-		handleResponse(response)
+	extendClient(client, reporter.fillReport, func(response *agentapi.Response) {
 		reporter.applyContracts(response.Contracts)
-	}
+	})
 }
 
+// recordAttempt is called on the event loop for each attempt that has an answer.
 func (r *sloReporter) recordAttempt(contract, endpoint string, took time.Duration) {
 	if region, ok := r.regionByEndpoint[endpoint]; ok {
 		r.queueSample(r.recorder.Record(r.now(), contract, region, took))
 	}
 }
 
+// queueSample keeps a sample for the next report; nil is none.
 func (r *sloReporter) queueSample(sample *slo.Sample) {
 	if sample == nil {
 		return
@@ -62,13 +67,13 @@
 	r.pending = append(r.pending, *sample)
 }
 
-// say tells what was measured in the parts of time that are over.
+// fillReport adds the samples of the intervals that are over.
 func (r *sloReporter) fillReport(report *agentapi.Report) {
 	regionByEndpoint := make(map[string]string, len(report.Servers))
 	for _, endpoint := range report.Servers {
 		if region, ok := r.regionByZone[endpoint.Zone]; ok {
 			regionByEndpoint[endpoint.ID] = region
-		} else if endpoint.Zone != "" {
+		} else if endpoint.Zone != "" { // a region of its own
 			regionByEndpoint[endpoint.ID] = endpoint.Zone
 		}
 	}
@@ -79,8 +84,8 @@
 	})
 }
 
-// take goes by other contracts from now on. Those on messages are not counted: the node
-// passes messages on without knowing which answers which.
+// applyContracts measures other contracts from now on. Those on messages are left out: the node
+// relays messages without knowing which answers which.
 func (r *sloReporter) applyContracts(list *agentapi.ContractList) {
 	if list == nil {
 		return
--- a/cmd/coralrelay/tokenresumption.go
+++ b/cmd/coralrelay/tokenresumption.go
@@ -15,33 +15,30 @@
 	"coralrelay/internal/store"
 )
 
-// resumption is moving with a resume token, where it is switched on; nil where it
-// is not.
+// tokenResumption lets migrated clients resume their streams with a token. It is nil where that
+// is not switched on.
 type tokenResumption struct {
 	service *replayguard.Service
 	factory resumption.Factory
 }
 
-// startResume starts it, if the operator's file says so.
-func startTokenResumption(ctx context.Context, goroutines *sync.WaitGroup, name string, options operatorconfig.Resume) (*tokenResumption, error) {
+// startTokenResumption starts it, if the operator's file says so. Its goroutines end with ctx.
+func startTokenResumption(
+	ctx context.Context, goroutines *sync.WaitGroup, name string, options operatorconfig.Resume,
+) (*tokenResumption, error) {
 	if !options.Enabled {
 		return nil, nil
 	}
 	if name == "" {
-		return nil, fmt.Errorf("resume.enabled: the node has no name (BALANCER_NAME)")
+		return nil, errors.New("resume.enabled: the node has no name (BALANCER_NAME)")
 	}
 	serviceConfig, err := loadServiceConfig(options)
 	if err != nil {
 		return nil, err
 	}
-	guard, err := replayguard.Open(replayguard.Options{Dir: options.ReplayGuard.Dir, MaxRecords: options.ReplayGuard.Records, ClockSkew: options.ClockSkew.Duration})
-	switch {
-	case errors.Is(err, store.ErrLocked): // two nodes with one folder would never do
-		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
-	case err != nil:
-		// A disk that is full or read-only must not keep the node from serving.
-		slog.Error("resume.ledger.dir: tokens that this node arbitrates are not honoured", "err", err)
-		guard = replayguard.NewUnavailable()
+	guard, err := openReplayGuard(options)
+	if err != nil {
+		return nil, err
 	}
 	service := replayguard.NewService(name, guard, serviceConfig, options.ReplayGuard.Peers)
 	if options.ReplayGuard.Listen != "" {
@@ -54,19 +51,46 @@
 	}
 	goroutines.Go(func() { guard.Run(ctx) })
 	goroutines.Go(func() { service.Run(ctx) })
-	slog.Info("resume tokens on", "ledger", fmt.Sprintf("%x", guard.ID), "kept", guard.RecordCount(), "survives", guard.IsDurable, "peers", len(options.ReplayGuard.Peers))
+	slog.Info("resume tokens enabled", "component", componentResumption, "replay_guard", fmt.Sprintf("%x", guard.ID),
+		"records", guard.RecordCount(), "durable", guard.IsDurable, "peers", len(options.ReplayGuard.Peers))
 	return &tokenResumption{service: service, factory: resumption.Factory{Tokens: service}}, nil
 }
 
+// openReplayGuard opens the store of spent tokens. A store that can't be opened must not keep the
+// node from serving, as on a disk that is full or read-only; one that another process holds must,
+// since two nodes may never share a directory.
+func openReplayGuard(options operatorconfig.Resume) (*replayguard.Guard, error) {
+	guard, err := replayguard.Open(replayguard.Options{
+		Dir:        options.ReplayGuard.Dir,
+		MaxRecords: options.ReplayGuard.Records,
+		ClockSkew:  options.ClockSkew.Duration,
+	})
+	switch {
+	case errors.Is(err, store.ErrLocked):
+		return nil, fmt.Errorf("resume.ledger.dir: %w", err)
+	case err != nil:
+		slog.Error("replay guard unavailable, tokens that this node arbitrates are rejected",
+			"component", componentResumption, "key", "resume.ledger.dir", "error", err)
+		return replayguard.NewUnavailable(), nil
+	}
+	return guard, nil
+}
+
+// loadServiceConfig reads the keys, and takes the times from the options.
 func loadServiceConfig(options operatorconfig.Resume) (replayguard.ServiceConfig, error) {
 	ring, err := keyfile.Load(options.Keys)
 	if err != nil {
 		return replayguard.ServiceConfig{}, fmt.Errorf("resume.keys: %w", err)
 	}
-	return replayguard.ServiceConfig{KeyRing: ring, TokenLifetime: options.TokenTTL.Duration, ClockSkew: options.ClockSkew.Duration, ArbiterTimeout: options.ArbiterTimeout.Duration}, nil
+	return replayguard.ServiceConfig{
+		KeyRing:        ring,
+		TokenLifetime:  options.TokenTTL.Duration,
+		ClockSkew:      options.ClockSkew.Duration,
+		ArbiterTimeout: options.ArbiterTimeout.Duration,
+	}, nil
 }
 
-// change takes other keys and times.
+// updateConfig takes other keys and times; with an error the old ones stay.
 func (r *tokenResumption) updateConfig(options operatorconfig.Resume) error {
 	if r == nil || !options.Enabled {
 		return nil
@@ -78,7 +102,7 @@
 	return err
 }
 
-// leave tells that the node is about to end.
+// beginDraining prepares for the end of the node.
 func (r *tokenResumption) beginDraining() {
 	if r != nil {
 		r.service.BeginDraining()
--- a/cmd/coralrelay/udp.go
+++ b/cmd/coralrelay/udp.go
@@ -8,15 +8,19 @@
 	"runtime"
 	"sync"
 
+	"coralrelay/balance"
 	"coralrelay/internal/config"
 	"coralrelay/internal/flowtable"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/udp"
 )
 
-// startUDP starts the front for datagrams, if the operator's file names an address
-// for it; else it returns nil.
-func startUDP(ctx context.Context, goroutines *sync.WaitGroup, cfg config.Config, options operatorconfig.UDP, eventLoop udp.Dispatcher, pool udp.Endpoints) (udp.Listeners, error) {
+// startUDP starts the listeners for datagrams, if the operator's file names an address for them;
+// else it returns nil. Their goroutine ends with ctx.
+func startUDP(
+	ctx context.Context, goroutines *sync.WaitGroup, cfg config.Config, options operatorconfig.UDP,
+	eventLoop udp.Dispatcher, pool udp.Endpoints,
+) (udp.Listeners, error) {
 	if options.Listen == "" {
 		return nil, nil
 	}
@@ -33,20 +37,53 @@
 	if options.Class != "" && class.Name != options.Class {
 		return nil, fmt.Errorf("udp.class: %q is none of the settings' classes", options.Class)
 	}
-	policy := map[string]flowtable.Policy{"reserve": flowtable.Reserve, "refuse": flowtable.RefuseNew, "idle": flowtable.EvictIdle}[options.Policy]
-	listeners, err := udp.Open(udp.Options{Listen: listen, Class: class.Name, Deadline: class.Deadline, Sockets: options.Sockets, SharedSockets: options.Mode == "shared", ProxyHeader: options.Proxy,
-		Table: flowtable.Options{Entries: options.Flows, IdleTimeout: options.Idle.Duration, Policy: policy, ReservedShare: options.Reserve,
-			SettledDatagrams: options.Settled, SettledAge: options.After.Duration},
-		Sources:     flowtable.SourceOptions{Slots: options.Sources.Slots, Rate: options.Sources.Rate, Burst: options.Sources.Burst},
-		FlowQueue:   flowtable.QueueLimit{Count: options.Queue.Flow, Bytes: options.Queue.FlowBytes},
-		QueueBudget: flowtable.QueueBudget{Count: options.Queue.All, Bytes: options.Queue.AllBytes},
-		NewFlows:    flowtable.Pacer{Rate: options.New.Rate, Burst: options.New.Burst, NewestFirst: true},
-		Silence:     flowtable.SilenceOptions{After: options.Silence.After.Duration, Datagrams: options.Silence.Datagrams}, Echo: options.Silence.Echo,
-		ReplacedFlows: flowtable.Pacer{Rate: options.Again.Rate, Burst: options.Again.Burst}}, runtime.GOMAXPROCS(0), eventLoop, pool)
+	listeners, err := udp.Open(udpOptions(listen, class, options), runtime.GOMAXPROCS(0), eventLoop, pool)
 	if err != nil {
 		return nil, fmt.Errorf("udp.listen: %w", err)
 	}
 	goroutines.Go(func() { listeners.Serve(ctx) })
-	slog.Info("udp on", "listen", listeners.Addr(), "fronts", len(listeners), "flows", options.Flows, "sockets", options.Sockets)
+	slog.Info("udp enabled", "component", componentUDP, "listen", listeners.Addr(), "listeners", len(listeners),
+		"flows", options.Flows, "sockets", options.Sockets)
 	return listeners, nil
 }
+
+// flowPolicies are the values of udp.policy: what happens to new flows when the table is full.
+var flowPolicies = map[string]flowtable.Policy{
+	"reserve": flowtable.Reserve,
+	"refuse":  flowtable.RefuseNew,
+	"idle":    flowtable.EvictIdle,
+}
+
+// udpOptions are the options of the operator's file, as the listeners take them.
+func udpOptions(listen netip.AddrPort, class balance.Class, options operatorconfig.UDP) udp.Options {
+	return udp.Options{
+		Listen:        listen,
+		Class:         class.Name,
+		Deadline:      class.Deadline,
+		Sockets:       options.Sockets,
+		SharedSockets: options.Mode == "shared",
+		ProxyHeader:   options.Proxy,
+		Table: flowtable.Options{
+			Entries:          options.Flows,
+			IdleTimeout:      options.Idle.Duration,
+			Policy:           flowPolicies[options.Policy],
+			ReservedShare:    options.Reserve,
+			SettledDatagrams: options.Settled,
+			SettledAge:       options.After.Duration,
+		},
+		Sources: flowtable.SourceOptions{
+			Slots: options.Sources.Slots,
+			Rate:  options.Sources.Rate,
+			Burst: options.Sources.Burst,
+		},
+		FlowQueue:   flowtable.QueueLimit{Count: options.Queue.Flow, Bytes: options.Queue.FlowBytes},
+		QueueBudget: flowtable.QueueBudget{Count: options.Queue.All, Bytes: options.Queue.AllBytes},
+		NewFlows:    flowtable.Pacer{Rate: options.New.Rate, Burst: options.New.Burst, NewestFirst: true},
+		Silence: flowtable.SilenceOptions{
+			After:     options.Silence.After.Duration,
+			Datagrams: options.Silence.Datagrams,
+		},
+		Echo:          options.Silence.Echo,
+		ReplacedFlows: flowtable.Pacer{Rate: options.Again.Rate, Burst: options.Again.Burst},
+	}
+}
