--- a/cmd/coralrelay/activeconfig_test.go
+++ b/cmd/coralrelay/activeconfig_test.go
@@ -13,8 +13,24 @@
 	"time"
 )
 
-// New settings take force at a hang-up, all of a file or none: classes appear and
-// vanish, what stands keeps its own, and the figures tell what was on the sockets.
+// expectOperations requires the metrics of three classes and of the relay: what was on the sockets.
+func expectOperations(p *process, relayed int32) {
+	p.t.Helper()
+	want := ""
+	for _, c := range []struct {
+		name                          string
+		fulfilled, throttled, faulted int
+	}{{"feed", 2, 0, 1}, {"feed_new", 1, 0, 0}, {"other", 1, 0, 0}} {
+		prefix := "balancer.operations." + c.name
+		want += fmt.Sprintf("%s.fulfilled:%d|c\r\n", prefix, c.fulfilled)
+		want += fmt.Sprintf("%s.throttled:%d|c\r\n", prefix, c.throttled)
+		want += fmt.Sprintf("%s.faulted:%d|c\r\n", prefix, c.faulted)
+	}
+	p.untilMetrics(want + fmt.Sprintf("balancer.relayed:%d|c\r\n", relayed))
+}
+
+// New settings come into force at a hang-up, all of a file or none: classes appear and vanish,
+// sessions keep their own, and the metrics show what was on the sockets.
 func TestHangUpAppliesSettings(t *testing.T) {
 	var got atomic.Int32
 	calls := make(chan string, 8)
@@ -44,10 +60,7 @@
 	openClass := func(id, class string) string {
 		return dialClient(t, addr, fmt.Sprintf("OPEN %s k1 c=%s,d=1200\r\n", id, class)).readLine()
 	}
-	session := dialClient(t, addr, openLine("a"))
-	if s := session.readLine(); s != "UP r1" {
-		t.Fatal(s)
-	}
+	session := openSession(t, addr, "a")
 	if s := openClass("b", "feed_new"); s != "ERR" {
 		t.Errorf("a class to come: %q", s)
 	}
@@ -60,7 +73,8 @@
 	}
 
 	elsewhere := discovery("of a bad file")
-	bad := strings.Replace(strings.Replace(both, "1.2", "-5", 1), `"discovery":"`, `"discovery":"`+elsewhere+`","was":"`, 1)
+	bad := strings.Replace(both, "1.2", "-5", 1)
+	bad = strings.Replace(bad, `"discovery":"`, `"discovery":"`+elsewhere+`","was":"`, 1)
 	for i, text := range []string{bad, "", bad[:len(bad)/2], strings.Replace(both, `"mostTries":6,`, "", 1)} {
 		hangUp(text, 1, i+1)
 	}
@@ -69,36 +83,32 @@
 	if s, u := openClass("e", "feed"), openClass("f", "other"); s != "ERR" || u != "UP r1" {
 		t.Errorf("a class that has vanished: %q, the one that stays: %q", s, u)
 	}
-	fmt.Fprint(session, "are you there\r\n")
-	if s := session.readLine(); s != "yes" {
-		t.Errorf("what stands: %q", s)
-	}
-	want := ""
-	for _, c := range []struct {
-		name                          string
-		fulfilled, throttled, faulted int
-	}{{"feed", 2, 0, 1}, {"feed_new", 1, 0, 0}, {"other", 1, 0, 0}} {
-		want += fmt.Sprintf("balancer.operations.%[1]s.fulfilled:%[2]d|c\r\nbalancer.operations.%[1]s.throttled:%[3]d|c\r\nbalancer.operations.%[1]s.faulted:%[4]d|c\r\n",
-			c.name, c.fulfilled, c.throttled, c.faulted)
-	}
-	want += fmt.Sprintf("balancer.relayed:%d|c\r\n", got.Load())
-	p.untilMetrics(want)
+	session.expectRelayed("the session")
+	expectOperations(p, got.Load())
 	select {
 	case name := <-calls:
 		t.Errorf("the discovery %s was called", name)
 	case <-time.After(50 * time.Millisecond):
 	}
 	p.expectMoveAndExit(session)
-	for _, key := range []string{"settings.classes[0].deadline", "settings.limits.mostTries", "BALANCER_CONFIG"} {
-		if !strings.Contains(p.log.String(), key) {
-			t.Errorf("the log does not name %s:\n%s", key, p.log)
+	p.expectLogged("settings.classes[0].deadline", "settings.limits.mostTries", "BALANCER_CONFIG")
+}
+
+// expectDiscovery waits for the next call of a discovery, or for the end of one.
+func expectDiscovery(t *testing.T, calls <-chan net.Conn, hasEnded bool, what string) {
+	t.Helper()
+	select {
+	case conn := <-calls:
+		if hasEnded != (conn == nil) {
+			t.Fatal("not so: " + what)
 		}
+	case <-time.After(4 * time.Second):
+		t.Fatal("not within 4 s: " + what)
 	}
 }
 
-// A hang-up once ended the process and cut what stood. Now the node follows the
-// discovery that the file names, although its environment still has the first;
-// a file that can't be used changes nothing; hang-ups while it drains do no harm.
+// At a hang-up the node follows the discovery that the file names, although its environment still
+// has the first; a file that can't be used changes nothing; hang-ups while it drains do no harm.
 func TestHangUpReloadsDiscovery(t *testing.T) {
 	discovery := func() (string, <-chan net.Conn) {
 		calls := make(chan net.Conn, 8)
@@ -109,57 +119,38 @@
 			calls <- nil
 		}), calls
 	}
-	expect := func(calls <-chan net.Conn, ended bool, what string) {
-		t.Helper()
-		select {
-		case conn := <-calls:
-			if ended != (conn == nil) {
-				t.Fatal("not so: " + what)
-			}
-		case <-time.After(4 * time.Second):
-			t.Fatal("not within 4 s: " + what)
-		}
-	}
 	var got atomic.Int32
-	upstreamAddr, addr, path := listen(t, serveUpstream(&got)), freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	upstreamAddr := listen(t, serveUpstream(&got))
+	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
 	first, firstCalls := discovery()
 	second, secondCalls := discovery()
 	writeConfig(t, path, addr, first, upstreamAddr, 1024)
 	t.Setenv("BALANCER_DISCOVERY", first)
-	process := startProcess(t, path, t.TempDir(), nil)
-	signal := process.signal
+	p := startProcess(t, path, t.TempDir(), nil)
 	awaitListening(t, addr)
-	session := dialClient(t, addr, openLine("a"))
-	if s := session.readLine(); s != "UP r1" {
-		t.Fatalf("first answer %q", s)
-	}
-	expect(firstCalls, false, "the first discovery is watched")
+	session := openSession(t, addr, "a")
+	expectDiscovery(t, firstCalls, false, "the first discovery is watched")
 
 	writeConfig(t, path, addr, second, upstreamAddr, 1024)
-	signal(syscall.SIGHUP)
-	expect(secondCalls, false, "the second discovery is watched")
-	expect(firstCalls, true, "the first watch is dropped")
+	p.signal(syscall.SIGHUP)
+	expectDiscovery(t, secondCalls, false, "the second discovery is watched")
+	expectDiscovery(t, firstCalls, true, "the first watch is dropped")
 
 	if err := os.WriteFile(path, []byte(`{"discovery":7}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	for range 3 {
-		signal(syscall.SIGHUP)
-	}
-	fmt.Fprint(session, "are you there\r\n")
-	if s := session.readLine(); s != "yes" {
-		t.Errorf("relayed %q", s)
+		p.signal(syscall.SIGHUP)
 	}
+	session.expectRelayed("after a bad file")
 	if s := dialClient(t, addr, openLine("b")).readLine(); s != "UP r1" {
-		t.Errorf("a caller after a bad file: %q", s)
+		t.Errorf("a client after a bad file: %q", s)
 	}
-	signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM)
 	if s := session.readLine(); s != "MOVE" {
 		t.Errorf("at the restart %q", s)
 	}
-	signal(syscall.SIGHUP)
-	if err := process.awaitExit(testTimeout); err != nil {
-		t.Errorf("the node ended with %v\n%s", err, process.log)
-	}
-	expect(secondCalls, true, "the second watch ends with the node, and none came between")
+	p.signal(syscall.SIGHUP)
+	p.expectExit()
+	expectDiscovery(t, secondCalls, true, "the second watch ends with the node, and none came between")
 }
--- a/cmd/coralrelay/admin_test.go
+++ b/cmd/coralrelay/admin_test.go
@@ -2,32 +2,17 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// LAMEDUCK empties the node: at once it says no, who still comes is served and then moved
-// with the others, and later there is a busy answer. REJOIN ends it, in its middle too, a
-// hang-up changes nothing of it, and SIGTERM ends the process.
+// LAMEDUCK drains the node: at once it answers PING with no, clients that still come are served and
+// then migrated with the others, and later they get a busy answer. REJOIN ends it, in its middle
+// too, a hang-up changes nothing of it, and SIGTERM ends the process.
 func TestLameDuckAndRejoin(t *testing.T) {
-	var got atomic.Int32
-	upstreamAddr := listen(t, serveUpstream(&got))
-	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 1024)
-	p := startProcess(t, path, t.TempDir(), nil)
-	p.untilAnswer("PING", "200")
-	openSession := func(id string) *client {
-		t.Helper()
-		c := dialClient(t, addr, openLine(id))
-		if s := c.readLine(); s != "UP r1" {
-			t.Fatalf("%s: %q", id, s)
-		}
-		return c
-	}
+	p, addr, _, _ := startServingNode(t, 1024)
 	expectAnswer := func(call, want string) {
 		t.Helper()
 		if s := p.adminCall(call); !strings.HasPrefix(s, want) {
@@ -42,20 +27,20 @@
 
 	var sessions []*client
 	for i := range 8 {
-		sessions = append(sessions, openSession(fmt.Sprint("a", i)))
+		sessions = append(sessions, openSession(t, addr, fmt.Sprint("a", i)))
 	}
 	begun := time.Now()
 	expectAnswer("LAMEDUCK", "200")
 	expectAnswer("PING", "400")
 	if s := dialClient(t, addr, "PING\r\n").readLine(); s == "PONG" {
-		t.Error("the clients' side still says yes")
+		t.Error("the clients' listener still answers PONG")
 	}
-	sessions = append(sessions, openSession("late"))
+	sessions = append(sessions, openSession(t, addr, "late"))
 	expectAnswer("LAMEDUCK", "200")
 	p.signal(syscall.SIGHUP)
 	for i, c := range sessions {
 		if s := c.readLine(); s != "MOVE" {
-			t.Errorf("connection %d: %q", i, s)
+			t.Errorf("session %d: %q", i, s)
 		}
 	}
 	if took := time.Since(begun); took > 3500*time.Millisecond || took < time.Second {
@@ -65,33 +50,25 @@
 	p.untilMetrics("balancer.cfg_accepted:1|c\r\n")
 	expectAnswer("PING", "400")
 	if s := dialClient(t, addr, openLine("refused")).readLine(); s != "BUSY 500" {
-		t.Errorf("who comes later: %q", s)
+		t.Errorf("a later client: %q", s)
 	}
 	expectAnswer("REJOIN", "200")
 	expectAnswer("REJOIN", "200")
 	expectAnswer("PING", "200")
 
-	session := openSession("b")
+	session := openSession(t, addr, "b")
 	expectAnswer("LAMEDUCK", "200")
-	expectAnswer("REJOIN", "200") // before anybody was moved
-	fmt.Fprint(session, "are you there\r\n")
-	if s := session.readLine(); s != "yes" {
-		t.Errorf("after the end of a drain: %q", s)
-	}
+	expectAnswer("REJOIN", "200") // before any session was migrated
+	session.expectRelayed("after the end of a drain")
 	expectAnswer("LAMEDUCK", "200")
 	p.expectMoveAndExit(session)
 }
 
-// However many callers there are, operators are answered: the descriptors that they need
-// are kept for them.
+// However many clients there are, operators are answered: the descriptors that they need are
+// reserved for them.
 func TestOperatorsAreAnsweredUnderOverload(t *testing.T) {
 	t.Setenv("TEST_NOFILE", "64")
-	var got atomic.Int32
-	upstreamAddr := listen(t, serveUpstream(&got))
-	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 64)
-	p := startProcess(t, path, t.TempDir(), nil)
-	p.untilAnswer("PING", "200")
+	p, addr, _, _ := startServingNode(t, 64)
 	for i := range 120 {
 		dialClient(t, addr, "")
 		dialClient(t, p.adminAddr, []string{"", "PIN", strings.Repeat("x", 3000)}[i%3])
@@ -105,6 +82,6 @@
 		}
 	}
 	if s := dialClient(t, addr, openLine("a")).readLine(); s != "UP r1" {
-		t.Errorf("a usual caller: %q", s)
+		t.Errorf("an ordinary client: %q", s)
 	}
 }
--- a/cmd/coralrelay/client_test.go
+++ b/cmd/coralrelay/client_test.go
@@ -10,13 +10,14 @@
 	"time"
 )
 
-// client is a caller's connection.
+// client is a client's connection.
 type client struct {
 	net.Conn
 	reader *bufio.Reader
 	t      *testing.T
 }
 
+// dialClient connects a client and sends a text.
 func dialClient(t *testing.T, addr, text string) *client {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
@@ -29,6 +30,7 @@
 	return &client{conn, bufio.NewReader(conn), t}
 }
 
+// readLine reads a line, which must come, without its end.
 func (c *client) readLine() string {
 	c.t.Helper()
 	s, err := c.reader.ReadString('\n')
@@ -38,7 +40,7 @@
 	return strings.TrimSuffix(s, "\r\n")
 }
 
-// rest is all that comes until the end, which must be one in good order.
+// readToEnd reads to the end, which must be no reset.
 func (c *client) readToEnd() string {
 	c.t.Helper()
 	text, err := io.ReadAll(c.reader)
@@ -48,4 +50,24 @@
 	return string(text)
 }
 
+// openLine is a first line with an id.
 func openLine(id string) string { return "OPEN " + id + " k1 c=feed,d=1200,g=5c\r\n" }
+
+// openSession opens a session, which must be accepted.
+func openSession(t *testing.T, addr, id string) *client {
+	t.Helper()
+	c := dialClient(t, addr, openLine(id))
+	if s := c.readLine(); s != "UP r1" {
+		t.Fatalf("%s: answered %q", id, s)
+	}
+	return c
+}
+
+// expectRelayed requires that the session works.
+func (c *client) expectRelayed(when string) {
+	c.t.Helper()
+	fmt.Fprint(c, "are you there\r\n")
+	if s := c.readLine(); s != "yes" {
+		c.t.Errorf("%s: relayed %q", when, s)
+	}
+}
--- a/cmd/coralrelay/flood_test.go
+++ b/cmd/coralrelay/flood_test.go
@@ -15,96 +15,135 @@
 	"coralrelay/internal/fake"
 )
 
-// While discovery is down a crowd rests, sends what is no line, or opens and stays. The
-// process may hold few descriptors and lists many next hops, and probes them all. Its watch
-// comes back within a second of discovery's return, who stands stays, and new callers are
-// served.
-func TestFloodWhileDiscoveryIsDown(t *testing.T) {
-	const endpoints, sockets = 60, 160
-	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
-	var got atomic.Int32
-	upstreamAddr := listen(t, serveUpstream(&got))
+// discoveryProxy stands before a discovery and can be taken down.
+type discoveryProxy struct {
+	behind  string // the discovery's address
+	isDown  atomic.Bool
+	watches sync.Map     // both ends of each
+	watched atomic.Int32 // watches so far
+}
+
+func (d *discoveryProxy) serve(conn net.Conn) {
+	if d.isDown.Load() {
+		return
+	}
+	to, err := net.Dial("tcp", d.behind)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	d.watches.Store(conn, to)
+	defer d.watches.Delete(conn)
+	d.watched.Add(1)
+	go func() { _, _ = io.Copy(to, conn) }()
+	_, _ = io.Copy(conn, to)
+}
+
+// takeDown ends all watches, and those to come until isDown is false again.
+func (d *discoveryProxy) takeDown() {
+	d.isDown.Store(true)
+	d.watches.Range(func(conn, to any) bool {
+		_ = conn.(net.Conn).Close()
+		_ = to.(net.Conn).Close()
+		return true
+	})
+}
+
+// startDiscoveryProxy starts one before a discovery that lists so many endpoints, s1 first, which
+// the node knows by its configuration.
+func startDiscoveryProxy(t *testing.T, endpoints int, upstreamAddr string) (d *discoveryProxy, addr string) {
+	t.Helper()
 	list := fake.NewDiscovery()
 	t.Cleanup(list.Close)
-	for i := range endpoints { // s1 first, which the node knows by its configuration
+	for i := range endpoints {
 		list.Set(fmt.Sprint("s", i+1), fake.Active, time.Time{}, map[string]string{"n0": upstreamAddr})
 	}
 	behind, err := list.Listen("n0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var down atomic.Bool
-	var watches sync.Map // the node's ends of them
-	var watched atomic.Int32
-	discovery := listen(t, func(conn net.Conn) {
-		if down.Load() {
+	d = &discoveryProxy{behind: behind}
+	return d, listen(t, d.serve)
+}
+
+// floodConnections has one client of a flood connect all the time, until stopped is closed, and
+// keep the last hundred connections: silent, with what is no line, or with sessions.
+func floodConnections(addr string, n int, stopped <-chan struct{}) {
+	var kept []net.Conn
+	defer func() {
+		for _, c := range kept {
+			_ = c.Close()
+		}
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-stopped:
 			return
+		default:
 		}
-		to, err := net.Dial("tcp", behind)
+		c, err := net.DialTimeout("tcp", addr, time.Second)
 		if err != nil {
+			continue
+		}
+		texts := []string{"", "HELLO\r\n", strings.Repeat("x", 6000), openLine(fmt.Sprintf("f%d.%d", n, i))}
+		fmt.Fprint(c, texts[i%len(texts)])
+		if kept = append(kept, c); len(kept) > 100 {
+			_ = kept[0].Close()
+			kept = kept[1:]
+		}
+	}
+}
+
+// expectServed requires that an ordinary client is served within 4 s after a flood.
+func expectServed(t *testing.T, addr string) {
+	t.Helper()
+	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		c := dialClient(t, addr, openLine(fmt.Sprint("after", begun.UnixNano())))
+		if c.readLine() == "UP r1" {
 			return
 		}
-		defer to.Close()
-		watches.Store(conn, to)
-		defer watches.Delete(conn)
-		watched.Add(1)
-		go func() { _, _ = io.Copy(to, conn) }()
-		_, _ = io.Copy(conn, to)
-	})
+		if time.Since(begun) > 4*time.Second {
+			t.Fatal("an ordinary client after the flood is rejected")
+		}
+		begun = begun.Add(1)
+	}
+}
+
+// While discovery is down a flood of clients stays silent, sends what is no line, or opens sessions
+// and stays. The process may hold few descriptors and has many endpoints, and probes them all. Its
+// watch comes back soon after discovery's return, sessions go on, and new clients are served.
+func TestFloodWhileDiscoveryIsDown(t *testing.T) {
+	const endpoints, sockets = 60, 160
+	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
+	var got atomic.Int32
+	upstreamAddr := listen(t, serveUpstream(&got))
+	discovery, discoveryAddr := startDiscoveryProxy(t, endpoints, upstreamAddr)
 	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, addr, discovery, upstreamAddr, sockets)
+	writeConfig(t, path, addr, discoveryAddr, upstreamAddr, sockets)
 	p := startProcess(t, path, t.TempDir(), nil)
 	p.untilAnswer("PING", "200")
 	p.untilMetrics(fmt.Sprintf("balancer.registry_entries:%d|g\r\n", endpoints))
 	var sessions []*client
 	for i := range 10 {
-		c := dialClient(t, addr, openLine(fmt.Sprint("a", i)))
-		if s := c.readLine(); s != "UP r1" {
-			t.Fatalf("connection %d: %q", i, s)
-		}
-		sessions = append(sessions, c)
+		sessions = append(sessions, openSession(t, addr, fmt.Sprint("a", i)))
 	}
 	for i := range 300 { // until all are probed
 		c := dialClient(t, addr, openLine(fmt.Sprint("p", i)))
 		_ = c.readLine()
-		c.Close()
+		_ = c.Close()
 	}
 
-	before := watched.Load()
-	down.Store(true)
-	watches.Range(func(conn, to any) bool { conn.(net.Conn).Close(); to.(net.Conn).Close(); return true })
-	stop := make(chan struct{})
+	before := discovery.watched.Load()
+	discovery.takeDown()
+	stopped := make(chan struct{})
 	var flood sync.WaitGroup
 	for n := range 8 {
-		flood.Go(func() {
-			var kept []net.Conn
-			defer func() {
-				for _, c := range kept {
-					c.Close()
-				}
-			}()
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				c, err := net.DialTimeout("tcp", addr, time.Second)
-				if err != nil {
-					continue
-				}
-				fmt.Fprint(c, []string{"", "HELLO\r\n", strings.Repeat("x", 6000), openLine(fmt.Sprintf("f%d.%d", n, i))}[i%4])
-				if kept = append(kept, c); len(kept) > 100 {
-					kept[0].Close()
-					kept = kept[1:]
-				}
-			}
-		})
+		flood.Go(func() { floodConnections(addr, n, stopped) })
 	}
 	time.Sleep(2 * time.Second) // of the outage
-	down.Store(false)
+	discovery.isDown.Store(false)
 	restoredAt := time.Now()
-	for watched.Load() == before && time.Since(restoredAt) < testTimeout {
+	for discovery.watched.Load() == before && time.Since(restoredAt) < testTimeout {
 		time.Sleep(time.Millisecond)
 	}
 	// A call may have failed just before, and the pause after it is under 2 s.
@@ -113,27 +152,15 @@
 	}
 	for i, c := range sessions {
 		_ = c.SetDeadline(time.Now().Add(testTimeout))
-		fmt.Fprint(c, "are you there\r\n")
-		if s := c.readLine(); s != "yes" {
-			t.Errorf("standing connection %d: %q", i, s)
-		}
+		c.expectRelayed(fmt.Sprint("session ", i))
 	}
 	ordinary := dialClient(t, addr, openLine("usual"))
 	if s, _ := ordinary.reader.ReadString('\n'); s != "UP r1\r\n" && s != "BUSY 500\r\n" {
-		t.Errorf("a usual caller in the crowd: %q", s)
+		t.Errorf("an ordinary client in the flood: %q", s)
 	}
-	close(stop)
+	close(stopped)
 	flood.Wait()
-	for begun := time.Now(); ; time.Sleep(50 * time.Millisecond) {
-		c := dialClient(t, addr, openLine(fmt.Sprint("after", begun.UnixNano())))
-		if c.readLine() == "UP r1" {
-			break
-		}
-		if time.Since(begun) > 4*time.Second {
-			t.Fatal("a usual caller after the crowd is refused")
-		}
-		begun = begun.Add(1)
-	}
+	expectServed(t, addr)
 	p.signal(syscall.SIGKILL)
 	_ = p.awaitExit(testTimeout)
 	if log := p.log.String(); strings.Contains(log, "too many open files") {
--- a/cmd/coralrelay/helpers_test.go
+++ b/cmd/coralrelay/helpers_test.go
@@ -18,15 +18,18 @@
 	"coralrelay/internal/operatorconfig"
 )
 
-const testTimeout = 10 * time.Second // no test waits this long unless it fails
+// testTimeout bounds every wait: no test waits this long unless it fails.
+const testTimeout = 10 * time.Second
 
 const settingsJSON = `{"classes":[{"name":"feed","objective":0.3,"deadline":1.2,"effect":"read_like"}],
 "domain":{"groups":true,"messageAim":[0.06],"mode":"proxy"},"granularity":0.004,"nInstances":1,
-"guarantees":{"askWithin":10,"coldFrom":0.12,"drainGrace":0.3,"graceToAnswer":0.016,"rampTime":23,"tipAfter":1.5,"tipMultiple":3},
+"guarantees":{"askWithin":10,"coldFrom":0.12,"drainGrace":0.3,"graceToAnswer":0.016,"rampTime":23,
+"tipAfter":1.5,"tipMultiple":3},
 "limits":{"connectTimeout":0.25,"maxRetryAfter":1,"mostTries":6,"probing":true,"retryAfter":true},
 "registryMode":"on_request","report":{"via":"probe"},"weights":"rough","zone":"a"}`
 
-// configure writes the configuration of a node that knows one next hop.
+// writeConfig writes the configuration of a node that knows one endpoint, or none without an
+// upstreamAddr.
 func writeConfig(t *testing.T, path, addr, discovery, upstreamAddr string, sockets int) {
 	t.Helper()
 	raw := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
@@ -41,7 +44,7 @@
 	}
 }
 
-// free returns an address on which nobody listens.
+// freeAddr returns an address on which nobody listens.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -52,7 +55,7 @@
 	return l.Addr().String()
 }
 
-// listen starts a party on loopback that serves each connection with f.
+// listen starts a server on loopback that serves each connection with f.
 func listen(t *testing.T, f func(net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -66,13 +69,16 @@
 			if err != nil {
 				return
 			}
-			go func() { defer conn.Close(); f(conn) }()
+			go func() {
+				defer conn.Close()
+				f(conn)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
-// nextHop answers as a feed server does; first lines are kept in got.
+// serveUpstream answers as an upstream does; first lines are counted in got.
 func serveUpstream(got *atomic.Int32) func(net.Conn) {
 	return func(conn net.Conn) {
 		for lines := bufio.NewScanner(conn); lines.Scan(); {
@@ -89,7 +95,7 @@
 	}
 }
 
-// names is a discovery that names one next hop.
+// startDiscovery starts a discovery that lists one endpoint.
 func startDiscovery(t *testing.T, upstreamAddr string) string {
 	t.Helper()
 	fakeDiscovery := fake.NewDiscovery()
@@ -102,7 +108,7 @@
 	return addr
 }
 
-// ready waits until the node accepts callers.
+// awaitListening waits until the node accepts clients.
 func awaitListening(t *testing.T, addr string) {
 	t.Helper()
 	for begun := time.Now(); ; {
@@ -115,27 +121,34 @@
 	}
 }
 
-// node starts a node that knows one next hop, and returns where it listens and
-// what ends it. Its discovery accepts calls and answers none.
-func startNode(t *testing.T, upstreamAddr string, sockets int) (addr string, terminate context.CancelFunc, done <-chan error) {
+// startNode starts a node that knows one endpoint, and returns where it listens, what terminates it
+// and what serve returned.
+func startNode(
+	t *testing.T, upstreamAddr string, sockets int,
+) (addr string, terminate context.CancelFunc, done <-chan error) {
+	t.Helper()
+	addr, terminate, done = startServe(t, upstreamAddr, sockets, operatorconfig.Default())
+	t.Cleanup(terminate)
+	return addr, terminate, done
+}
+
+// startServe starts a node with an operator's file, which the caller has to terminate. Its
+// discovery accepts calls and answers none.
+func startServe(
+	t *testing.T, upstreamAddr string, sockets int, operatorFile operatorconfig.File,
+) (addr string, terminate context.CancelFunc, done <-chan error) {
 	t.Helper()
 	discovery := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	addr = freeAddr(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	writeConfig(t, path, addr, discovery, upstreamAddr, sockets)
-	c, err := config.Load(func(name string) string {
-		if name == "BALANCER_CONFIG" {
-			return path
-		}
-		return ""
-	})
+	cfg, err := config.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] })
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- serve(ctx, nil, c, operatorconfig.Default(), "") }()
-	t.Cleanup(cancel)
+	go func() { ended <- serve(ctx, nil, cfg, operatorFile, "") }()
 	awaitListening(t, addr)
 	return addr, cancel, ended
 }
--- a/cmd/coralrelay/main_test.go
+++ b/cmd/coralrelay/main_test.go
@@ -7,12 +7,12 @@
 	"testing"
 )
 
-// TestMain lets the test binary stand in for the node's process, where signals
-// are tested.
+// TestMain lets the test binary be the node's process, with TEST_NOFILE as its limit of descriptors.
 func TestMain(m *testing.M) {
 	if os.Getenv("BALANCER_CONFIG") != "" {
 		if n, err := strconv.Atoi(os.Getenv("TEST_NOFILE")); err == nil {
-			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(n), Max: uint64(n)}); err != nil {
+			limit := syscall.Rlimit{Cur: uint64(n), Max: uint64(n)}
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 				panic(err)
 			}
 		}
--- a/cmd/coralrelay/nodelay_test.go
+++ b/cmd/coralrelay/nodelay_test.go
@@ -17,62 +17,63 @@
 	"coralrelay/internal/upstream"
 )
 
-// taker keeps what is handed over.
+// connReceiver passes on the connections that are handed over.
 type connReceiver chan [2]net.Conn
 
+// Adopt implements hotrestart.Receiver.
 func (r connReceiver) Adopt(_ proxy.EstablishedSession, downstreamConn, upstreamConn net.Conn) bool {
 	r <- [2]net.Conn{downstreamConn, upstreamConn}
 	return true
 }
 
 // Learn implements hotrestart.Receiver.
-func (connReceiver) Learn(balance.LearnedState) {
-}
+func (connReceiver) Learn(balance.LearnedState) {}
 
-// No socket holds small writes back: not one that was accepted, at a listener of the node's
-// own or an inherited one, not one that was handed over, nor one that the node dials.
-func TestAllSocketsHaveNoDelay(t *testing.T) {
-	expectNoDelay := func(what string, conn net.Conn) {
-		t.Helper()
-		raw, err := conn.(syscall.Conn).SyscallConn()
-		if err != nil {
-			t.Fatal(err)
-		}
-		on := 0
-		_ = raw.Control(func(fd uintptr) { on, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY) })
-		if err != nil || on == 0 {
-			t.Errorf("%s: TCP_NODELAY is %d, %v", what, on, err)
-		}
+// expectNoDelay requires that the connection's socket does not hold small writes back.
+func expectNoDelay(t *testing.T, what string, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
 	}
-	accepted := func(what, addr string, inherited int) [2]net.Conn {
-		t.Helper()
-		l, err := openClientListener(config.Config{Listen: addr, InheritedFD: inherited})
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		far, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		near, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { near.Close(); far.Close() })
-		expectNoDelay(what, near)
-		return [2]net.Conn{near, far}
+	on := 0
+	_ = raw.Control(func(fd uintptr) {
+		on, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+	})
+	if err != nil || on == 0 {
+		t.Errorf("%s: TCP_NODELAY is %d, %v", what, on, err)
 	}
-	ends := accepted("accepted", "127.0.0.1:0", 0)
-	_, file := listeningSocket(t)
-	copied, err := syscall.Dup(int(file.Fd()))
+}
+
+// acceptOne returns a connection that the clients' listener accepted, and its far end.
+func acceptOne(t *testing.T, cfg config.Config) (near, far net.Conn) {
+	t.Helper()
+	l, err := openClientListener(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted("accepted at an inherited listener", "", copied)
+	if near, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	return near, far
+}
 
+// handOver hands both connections over, and returns the received ones.
+func handOver(t *testing.T, downstreamConn, upstreamConn net.Conn) [2]net.Conn {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var goroutines sync.WaitGroup
+	defer goroutines.Wait()
+	defer cancel()
 	receiver, dir := make(connReceiver, 1), t.TempDir()
 	if err := hotrestart.Listen(ctx, &goroutines, dir, "n0", receiver); err != nil {
 		t.Fatal(err)
@@ -81,29 +82,44 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, end := range ends { // what the taker has is its own doing
-		_ = end.(*net.TCPConn).SetNoDelay(false)
-	}
-	if !sender.Take(proxy.EstablishedSession{}, ends[0], ends[1]) {
+	defer sender.Close()
+	if !sender.Take(proxy.EstablishedSession{}, downstreamConn, upstreamConn) {
 		t.Fatal("not taken")
 	}
-	for i, conn := range <-receiver {
-		expectNoDelay([]string{"a caller that was handed over", "a next hop that was"}[i], conn)
-		conn.Close()
+	return <-receiver
+}
+
+// No socket holds small writes back: not one that was accepted, at a listener of the node's own
+// or an inherited one, not one that was handed over, nor one that the node dials.
+func TestAllSocketsHaveNoDelay(t *testing.T) {
+	near, far := acceptOne(t, config.Config{Listen: "127.0.0.1:0"})
+	expectNoDelay(t, "accepted", near)
+	_, file := listeningSocket(t)
+	copied, err := syscall.Dup(int(file.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	inherited, _ := acceptOne(t, config.Config{InheritedFD: copied})
+	expectNoDelay(t, "accepted at an inherited listener", inherited)
+
+	for _, conn := range []net.Conn{near, far} { // the receiver must set it itself
+		_ = conn.(*net.TCPConn).SetNoDelay(false)
+	}
+	for i, conn := range handOver(t, near, far) {
+		expectNoDelay(t, []string{"downstream connection handed over", "upstream connection handed over"}[i], conn)
+		_ = conn.Close()
 	}
-	sender.Close()
-	cancel()
-	goroutines.Wait()
 
 	addr := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	for what, dial := range map[string]func(context.Context, string, time.Time) (net.Conn, error){
-		"to a next hop": upstream.New(t.Context(), upstream.Limits{}).Dial, "to discovery": discovery.New(addr, nil).Dial,
+		"to an upstream": upstream.New(t.Context(), upstream.Limits{}).Dial,
+		"to discovery":   discovery.New(addr, nil).Dial,
 	} {
 		conn, err := dial(t.Context(), addr, time.Now().Add(testTimeout))
 		if err != nil {
 			t.Fatal(err)
 		}
-		expectNoDelay(what, conn)
-		conn.Close()
+		expectNoDelay(t, what, conn)
+		_ = conn.Close()
 	}
 }
--- a/cmd/coralrelay/process_test.go
+++ b/cmd/coralrelay/process_test.go
@@ -24,11 +24,18 @@
 	exited    chan error
 }
 
-// start starts one; inherited, if there is one, becomes its descriptor 4.
+// startProcess starts one; inherited, if there is one, becomes its descriptor 4.
 func startProcess(t *testing.T, path, tmp string, inherited *os.File, args ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(os.Args[0], args...), t: t, adminAddr: freeAddr(t), log: &bytes.Buffer{}, exited: make(chan error, 1)}
-	p.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.adminAddr, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
+	p := &process{
+		Cmd:       exec.Command(os.Args[0], args...),
+		t:         t,
+		adminAddr: freeAddr(t),
+		log:       &bytes.Buffer{},
+		exited:    make(chan error, 1),
+	}
+	p.Env = append(os.Environ(),
+		"BALANCER_CONFIG="+path, "BALANCER_MGMT="+p.adminAddr, "TMPDIR="+tmp, "GORACE=atexit_sleep_ms=0")
 	if inherited != nil {
 		p.Env = append(p.Env, "BALANCER_INHERITED_FD=4")
 		p.ExtraFiles = []*os.File{nil, inherited}
@@ -42,7 +49,7 @@
 	return p
 }
 
-// started is a process that serves, and what its next hop got of first lines.
+// startServingNode starts a process that serves, and counts the first lines that its upstream got.
 func startServingNode(t *testing.T, sockets int) (p *process, addr, path string, got *atomic.Int32) {
 	t.Helper()
 	got = &atomic.Int32{}
@@ -54,7 +61,7 @@
 	return p, addr, path, got
 }
 
-// held is the clients' listening socket, as the platform holds it.
+// listeningSocket is the clients' listening socket, as the platform holds it.
 func listeningSocket(t *testing.T) (addr string, file *os.File) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,7 +77,40 @@
 	return l.Addr().String(), file
 }
 
-// ask makes one call of an operator's.
+// sharedSocket is a node of which the platform holds the listening socket, so that one process can
+// succeed another.
+type sharedSocket struct {
+	t                             *testing.T
+	addr, discovery, upstreamAddr string
+	file                          *os.File
+	path, tmp                     string
+}
+
+func newSharedSocket(t *testing.T, sockets int) *sharedSocket {
+	t.Helper()
+	s := &sharedSocket{t: t, upstreamAddr: listen(t, serveUpstream(&atomic.Int32{})), tmp: t.TempDir()}
+	s.discovery = startDiscovery(t, s.upstreamAddr)
+	s.addr, s.file = listeningSocket(t)
+	s.path = filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, s.path, s.addr, s.discovery, s.upstreamAddr, sockets)
+	return s
+}
+
+// start starts a process of the node.
+func (s *sharedSocket) start(args ...string) *process {
+	s.t.Helper()
+	return startProcess(s.t, s.path, s.tmp, s.file, args...)
+}
+
+// startServing starts a process of the node and waits until it serves.
+func (s *sharedSocket) startServing(args ...string) *process {
+	s.t.Helper()
+	p := s.start(args...)
+	p.untilAnswer("PING", "200")
+	return p
+}
+
+// adminCall makes one call of an operator's.
 func (p *process) adminCall(call string) string {
 	conn, err := net.Dial("tcp", p.adminAddr)
 	if err != nil {
@@ -86,7 +126,7 @@
 	return string(all)
 }
 
-// until asks until the answer begins as wanted.
+// untilAnswer repeats a call until the answer begins as wanted.
 func (p *process) untilAnswer(call, want string) {
 	p.t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
@@ -100,7 +140,7 @@
 	}
 }
 
-// untilHas asks for the figures until they hold a text.
+// untilMetrics asks for the metrics until they hold a text.
 func (p *process) untilMetrics(text string) {
 	p.t.Helper()
 	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
@@ -109,7 +149,7 @@
 			return
 		}
 		if time.Since(begun) > testTimeout {
-			p.t.Fatalf("figures:\n%swant:\n%s", got, text)
+			p.t.Fatalf("metrics:\n%swant:\n%s", got, text)
 		}
 	}
 }
@@ -121,13 +161,20 @@
 	}
 }
 
-// movesAndEnds has it end: what stands is moved, and it ends in good order.
+// expectMoveAndExit terminates the process: the session is migrated, and the process exits without
+// an error.
 func (p *process) expectMoveAndExit(session *client) {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
 	if s := session.readLine(); s != "MOVE" {
 		p.t.Errorf("at the end: %q", s)
 	}
+	p.expectExit()
+}
+
+// expectExit requires that the process exits without an error.
+func (p *process) expectExit() {
+	p.t.Helper()
 	if err := p.awaitExit(testTimeout); err != nil {
 		p.t.Errorf("it ended with %v\n%s", err, p.log)
 	}
@@ -143,3 +190,13 @@
 		return nil
 	}
 }
+
+// expectLogged requires texts in the log of a process that has exited.
+func (p *process) expectLogged(texts ...string) {
+	p.t.Helper()
+	for _, text := range texts {
+		if !strings.Contains(p.log.String(), text) {
+			p.t.Errorf("the log does not have %s:\n%s", text, p.log)
+		}
+	}
+}
--- a/cmd/coralrelay/session_test.go
+++ b/cmd/coralrelay/session_test.go
@@ -10,6 +10,7 @@
 	"time"
 )
 
+// A client may send PING before its first line, and its session relays lines.
 func TestRelaysSession(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 1024)
@@ -21,22 +22,22 @@
 	if s := c.readLine(); s != "UP r1" {
 		t.Fatalf("first answer %q", s)
 	}
-	fmt.Fprint(c, "are you there\r\n")
-	if s := c.readLine(); s != "yes" {
-		t.Fatalf("relayed %q", s)
-	}
+	c.expectRelayed("the session")
 	if s := dialClient(t, addr, "OPEN b k1 c=feed,d=1200,at=s1\r\n").readLine(); s != "UP r1" {
-		t.Fatalf("a connection that its next hop holds: %q", s)
+		t.Fatalf("a session that its upstream has already: %q", s)
 	}
 }
 
-// Malformed first lines get one failing answer and a close, and none goes on.
+// Malformed first lines get one error and a close, and none is forwarded.
 func TestRejectsMalformedFirstLines(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 1024)
 	for name, text := range map[string]string{
-		"word": "HELLO\r\n", "binary": "OPEN \x00\xff k c=feed,d=1\r\n", "no wait": "OPEN a k c=feed\r\n",
-		"class unknown": "OPEN a k c=chat,d=1000\r\n", "endless": strings.Repeat("OPEN", 5000),
+		"word":          "HELLO\r\n",
+		"binary":        "OPEN \x00\xff k c=feed,d=1\r\n",
+		"no wait":       "OPEN a k c=feed\r\n",
+		"class unknown": "OPEN a k c=chat,d=1000\r\n",
+		"endless":       strings.Repeat("OPEN", 5000),
 	} {
 		c := dialClient(t, addr, text)
 		if s := c.readLine(); s != "ERR" {
@@ -51,12 +52,14 @@
 	}
 }
 
-// A caller that never says a whole first line is owed an answer or a close within
-// 3 s of its connect, however it spends them.
+// A client that never sends a complete first line gets an answer or a close within 3 s of its
+// connect, however it spends them.
 func TestClientsWithoutFirstLineAreAnsweredInTime(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 1024)
-	for name, text := range map[string]string{"silent": "", "half a line": "OPEN a k1 c=fe", "pings": "PING\r\n", "drips": "O"} {
+	for name, text := range map[string]string{
+		"silent": "", "half a line": "OPEN a k1 c=fe", "pings": "PING\r\n", "drips": "O",
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			begun := time.Now()
@@ -64,7 +67,7 @@
 			if name == "pings" {
 				c.readLine()
 			}
-			if name == "drips" { // no byte buys fresh time
+			if name == "drips" { // no byte extends the time
 				go func() {
 					for range time.Tick(100 * time.Millisecond) {
 						if _, err := c.Write([]byte("x")); err != nil {
@@ -81,7 +84,7 @@
 	}
 }
 
-// The error reaches a caller that has far more to send, and does not wait for it.
+// The error reaches a client that has far more to send, and does not wait for it.
 func TestErrorIsSentWhileClientStillSends(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 1024)
@@ -101,7 +104,7 @@
 	}
 }
 
-// slow holds back UP until it may go.
+// delayedUpConn holds back UP until it is released.
 type delayedUpConn struct {
 	net.Conn
 	isReleased *atomic.Bool
@@ -114,8 +117,8 @@
 	return c.Conn.Write(b)
 }
 
-// The id of another caller's open request earns an error, and its owner keeps
-// both the request and the connection.
+// The id of another client's open request is rejected with an error, and its owner keeps both the
+// request and the connection.
 func TestRejectsIDInUse(t *testing.T) {
 	var got atomic.Int32
 	var up atomic.Bool
@@ -134,16 +137,16 @@
 		t.Errorf("the owner's answer: %q", s)
 	}
 	if s := dialClient(t, addr, openLine("a")).readLine(); s != "ERR" {
-		t.Errorf("while it stands: %q", s)
+		t.Errorf("while it is established: %q", s)
 	}
-	fmt.Fprint(owner, "are you there\r\n")
-	if s := owner.readLine(); s != "yes" || got.Load() != 1 {
-		t.Errorf("relayed %q, %d first lines went on", s, got.Load())
+	owner.expectRelayed("the owner")
+	if n := got.Load(); n != 1 {
+		t.Errorf("%d first lines went on", n)
 	}
 }
 
-// A crowd that says nothing must not use up the sockets: who has waited longest
-// makes room, and usual callers are served.
+// Silent clients must not use up the sockets: the one that has waited longest is evicted, and
+// ordinary clients are served.
 func TestSilentClientsAreEvictedForOthers(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 64)
@@ -152,21 +155,21 @@
 		silent[i] = dialClient(t, addr, "")
 		if i%20 == 0 {
 			if s := dialClient(t, addr, openLine(fmt.Sprint("a", i))).readLine(); s != "UP r1" {
-				t.Fatalf("a usual caller behind %d silent ones: %q", i+1, s)
+				t.Fatalf("an ordinary client behind %d silent ones: %q", i+1, s)
 			}
 		}
 	}
 	if s := silent[0].readLine(); s != "BUSY 500" {
-		t.Errorf("the first of the crowd: %q", s)
+		t.Errorf("the first silent client: %q", s)
 	}
 }
 
-// The answer comes before the deadline, also with a next hop that takes the
-// first line and answers nothing, or with no roster at all.
+// The answer comes before the deadline, also with an upstream that takes the first line and answers
+// nothing, or without any list of endpoints.
 func TestAnswersBeforeTheDeadline(t *testing.T) {
 	hung := listen(t, func(conn net.Conn) { _, _ = bufio.NewReader(conn).ReadString(0) })
-	for name, hop := range map[string]string{"hung next hop": hung, "no roster": ""} {
-		addr, _, _ := startNode(t, hop, 1024)
+	for name, upstreamAddr := range map[string]string{"hung upstream": hung, "no list": ""} {
+		addr, _, _ := startNode(t, upstreamAddr, 1024)
 		begun := time.Now()
 		s := dialClient(t, addr, "OPEN a k1 c=feed,d=400\r\n").readLine()
 		// The rules allow 50 ms more on sockets; a loaded machine may need them.
@@ -176,13 +179,12 @@
 	}
 }
 
+// Beyond the sockets that it may use, the node rejects sessions with a Retry-After.
 func TestBusyBeyondSocketLimit(t *testing.T) {
 	var got atomic.Int32
 	addr, _, _ := startNode(t, listen(t, serveUpstream(&got)), 64)
 	for i := range 24 { // (64 - 16) / 2
-		if s := dialClient(t, addr, openLine(fmt.Sprint("a", i))).readLine(); s != "UP r1" {
-			t.Fatalf("connection %d: %q", i, s)
-		}
+		openSession(t, addr, fmt.Sprint("a", i))
 	}
 	if s := dialClient(t, addr, openLine("b")).readLine(); s != "BUSY 500" {
 		t.Errorf("beyond the limit: %q", s)
--- a/cmd/coralrelay/sibling_test.go
+++ b/cmd/coralrelay/sibling_test.go
@@ -5,35 +5,25 @@
 	"net"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 )
 
-// A process is told to go while the one beside it takes no clients: it is not ready yet, or
-// leaves too. Clients are not left to nobody: this one answers as it does alone.
+// A process is terminated while its sibling does not serve: it is not ready yet, or drains too.
+// Clients are not left to nobody: this process answers as it does without a sibling.
 func TestAnswersAloneWhileSiblingDoesNotServe(t *testing.T) {
 	silent := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
-	for name, leaves := range map[string]bool{"not ready": false, "leaves too": true} {
+	for name, drainsToo := range map[string]bool{"not ready": false, "drains too": true} {
 		t.Run(name, func(t *testing.T) {
-			var got atomic.Int32
-			upstreamAddr := listen(t, serveUpstream(&got))
-			addr, file := listeningSocket(t)
-			dir, tmp := t.TempDir(), t.TempDir()
-			path, other := filepath.Join(dir, "config.json"), filepath.Join(dir, "other.json")
-			writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 256)
-			writeConfig(t, other, addr, silent, upstreamAddr, 256)
-			old := startProcess(t, path, tmp, file)
-			old.untilAnswer("PING", "200")
-			session := dialClient(t, addr, openLine("a"))
-			if s := session.readLine(); s != "UP r1" {
-				t.Fatal(s)
-			}
-			if leaves {
-				other = path
-			}
-			next := startProcess(t, other, tmp, file)
-			if leaves {
+			node := newSharedSocket(t, 256)
+			old := node.startServing()
+			session := openSession(t, node.addr, "a")
+			if !drainsToo { // it waits for a discovery that does not answer
+				node.path = filepath.Join(t.TempDir(), "other.json")
+				writeConfig(t, node.path, node.addr, silent, node.upstreamAddr, 256)
+			}
+			next := node.start()
+			if drainsToo {
 				next.untilAnswer("PING", "200")
 				next.signal(syscall.SIGTERM)
 			}
@@ -41,24 +31,20 @@
 			next.signal(syscall.SIGSTOP) // where it is
 			old.signal(syscall.SIGTERM)
 			old.untilAnswer("PING", "400")
-			if s := dialClient(t, addr, openLine("b")).readLine(); !strings.HasPrefix(s, "BUSY") {
-				t.Errorf("who comes then: %q", s)
+			if s := dialClient(t, node.addr, openLine("b")).readLine(); !strings.HasPrefix(s, "BUSY") {
+				t.Errorf("a new client: %q", s)
 			}
 			if s := session.readLine(); s != "MOVE" {
-				t.Errorf("who stands: %q", s)
-			}
-			if err := old.awaitExit(testTimeout); err != nil {
-				t.Errorf("it ended with %v\n%s", err, old.log)
+				t.Errorf("the session: %q", s)
 			}
+			old.expectExit()
 			next.signal(syscall.SIGCONT)
-			if leaves {
-				if err := next.awaitExit(testTimeout); err != nil {
-					t.Errorf("the other ended with %v\n%s", err, next.log)
-				}
+			if drainsToo {
+				next.expectExit()
 				return
 			}
 			next.untilAnswer("PING", "200")
-			if s := dialClient(t, addr, openLine("c")).readLine(); s != "UP r1" {
+			if s := dialClient(t, node.addr, openLine("c")).readLine(); s != "UP r1" {
 				t.Errorf("at the successor: %q", s)
 			}
 		})
--- a/cmd/coralrelay/termination_test.go
+++ b/cmd/coralrelay/termination_test.go
@@ -13,30 +13,26 @@
 	"time"
 )
 
-// A planned restart moves what stands, refuses what comes, and ends in time.
+// A planned restart migrates sessions, rejects new clients, and ends in time.
 func TestTerminationMovesSessions(t *testing.T) {
 	var got atomic.Int32
 	addr, terminate, done := startNode(t, listen(t, serveUpstream(&got)), 1024)
 	var sessions []*client
 	for i := range 8 {
-		c := dialClient(t, addr, openLine(fmt.Sprint("a", i)))
-		if s := c.readLine(); s != "UP r1" {
-			t.Fatalf("connection %d: %q", i, s)
-		}
-		sessions = append(sessions, c)
+		sessions = append(sessions, openSession(t, addr, fmt.Sprint("a", i)))
 	}
 	begun := time.Now()
 	terminate()
-	first := sessions[0].readLine() // accepting goes on while the others stand
+	first := sessions[0].readLine() // clients are accepted while the other sessions go on
 	if after := time.Since(begun); after < 500*time.Millisecond {
-		t.Errorf("moved after %v: the front still sends callers here", after)
+		t.Errorf("migrated after %v: the front still sends clients here", after)
 	}
 	if s := dialClient(t, addr, openLine("b")).readLine(); s != "BUSY 500" {
-		t.Errorf("a new caller: %q", s)
+		t.Errorf("a new client: %q", s)
 	}
 	for _, c := range sessions[1:] {
 		if s := c.readLine(); s != "MOVE" || first != "MOVE" {
-			t.Errorf("standing: %q, %q", first, s)
+			t.Errorf("sessions: %q, %q", first, s)
 		}
 	}
 	if err := <-done; err != nil {
@@ -47,7 +43,7 @@
 	}
 }
 
-// pipe takes a file's place: who reads it waits until something is written.
+// replaceByPipe has whoever reads the file wait until something is written.
 func replaceByPipe(t *testing.T, path string) {
 	t.Helper()
 	_ = os.Remove(path)
@@ -56,22 +52,22 @@
 	}
 }
 
-// A first line counts as it stands when the node is told to end: what was whole is served,
-// what becomes whole after that is refused, what never does is refused at the latest when
-// the node ends; each has one answer and an end in good order.
+// A first line counts as it is when the node is terminated: one that was complete is served, one
+// that becomes complete after that is rejected, one that never does is rejected at the latest when
+// the node ends; each has one answer and an end that is no reset.
 func TestFirstLinesAroundTermination(t *testing.T) {
 	p, addr, _, got := startServingNode(t, 1024)
-	type party struct {
+	type testCase struct {
 		name, before, after, late, want string // late: once it has been answered
 		*client
 	}
-	parties := []*party{
-		{name: "whole before", before: openLine("a"), want: "UP r1\r\nMOVE\r\n"},
-		{name: "whole before, in pieces", before: "OP|EN b k1 c=fe|ed,d=1200\r|\n", want: "UP r1\r\nMOVE\r\n"},
+	cases := []*testCase{
+		{name: "complete before", before: openLine("a"), want: "UP r1\r\nMOVE\r\n"},
+		{name: "complete before, in pieces", before: "OP|EN b k1 c=fe|ed,d=1200\r|\n", want: "UP r1\r\nMOVE\r\n"},
 		{name: "over the end", before: "OPEN c k1 c=fe", after: "ed,d=1200\r\n", want: "BUSY 500\r\n"},
 		{name: "its end over the end", before: "OPEN d k1 c=feed,d=1200\r", after: "\n", want: "BUSY 500\r\n"},
-		{name: "whole after", after: openLine("e"), want: "BUSY 500\r\n"},
-		{name: "whole after, in pieces", after: "OPEN f k|1 c=feed,|d=1200\r\n", want: "BUSY 500\r\n"},
+		{name: "complete after", after: openLine("e"), want: "BUSY 500\r\n"},
+		{name: "complete after, in pieces", after: "OPEN f k|1 c=feed,|d=1200\r\n", want: "BUSY 500\r\n"},
 		{name: "half before", before: "OPEN g k1 c=fe", late: "ed,d=1200\r\n", want: "BUSY 500\r\n"},
 		{name: "half after", after: "OPEN h k1 c=fe", late: "ed,d=1200\r\n", want: "BUSY 500\r\n"},
 		{name: "nothing", late: openLine("i"), want: "BUSY 500\r\n"},
@@ -84,7 +80,7 @@
 			fmt.Fprint(to, piece)
 		}
 	}
-	for _, c := range parties {
+	for _, c := range cases {
 		c.client = dialClient(t, addr, "")
 		write(c.client, c.before)
 		if c.before == "PING\r\n" { // it is read before
@@ -96,10 +92,10 @@
 	}
 	p.signal(syscall.SIGTERM)
 	p.untilAnswer("PING", "400")
-	for _, c := range parties {
+	for _, c := range cases {
 		write(c.client, c.after)
 	}
-	for _, c := range parties {
+	for _, c := range cases {
 		if c.late != "" {
 			answered, _ := c.reader.Peek(len(c.want))
 			if string(answered) != c.want {
@@ -112,16 +108,14 @@
 		}
 		c.Close()
 	}
-	if err := p.awaitExit(testTimeout); err != nil {
-		t.Errorf("it ended with %v\n%s", err, p.log)
-	}
+	p.expectExit()
 	if n := got.Load(); n != 2 {
 		t.Errorf("%d first lines went on, want 2", n)
 	}
 }
 
-// A node that is told to end while it starts comes up, turns callers away and ends in good
-// order; so it does however often it is told.
+// A node that is terminated while it starts comes up, rejects clients and ends without an error;
+// so it does however often it is terminated.
 func TestTerminatedInItsStart(t *testing.T) {
 	var got atomic.Int32
 	upstreamAddr := listen(t, serveUpstream(&got))
@@ -144,7 +138,7 @@
 	writer.Close()
 	awaitListening(t, addr)
 	if s := dialClient(t, addr, openLine("a")).readToEnd(); s != "BUSY 500\r\n" {
-		t.Errorf("a caller: %q", s)
+		t.Errorf("a client: %q", s)
 	}
 	for ended := false; !ended; {
 		select {
@@ -161,71 +155,59 @@
 	}
 }
 
-// A successor that is told to end while it waits for discovery ends at once, and the process
-// that serves goes on.
+// A successor that is terminated while it waits for discovery ends at once, and the process that
+// serves goes on.
 func TestSuccessorTerminatedBeforeItIsReady(t *testing.T) {
-	var got atomic.Int32
-	upstreamAddr := listen(t, serveUpstream(&got))
-	addr, file := listeningSocket(t)
-	dir, tmp := t.TempDir(), t.TempDir()
-	path, silent := filepath.Join(dir, "config.json"), filepath.Join(dir, "silent.json")
-	writeConfig(t, path, addr, startDiscovery(t, upstreamAddr), upstreamAddr, 256)
+	node := newSharedSocket(t, 256)
+	old := node.startServing()
+	session := openSession(t, node.addr, "a")
 	discoveryCalled := make(chan struct{}, 16)
-	writeConfig(t, silent, addr, listen(t, func(conn net.Conn) { discoveryCalled <- struct{}{}; _, _ = io.Copy(io.Discard, conn) }), upstreamAddr, 256)
-	old := startProcess(t, path, tmp, file)
-	old.untilAnswer("PING", "200")
-	session := dialClient(t, addr, openLine("a"))
-	if s := session.readLine(); s != "UP r1" {
-		t.Fatal(s)
-	}
-	next := startProcess(t, silent, tmp, file)
+	silent := listen(t, func(conn net.Conn) {
+		discoveryCalled <- struct{}{}
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	node.path = filepath.Join(t.TempDir(), "silent.json")
+	writeConfig(t, node.path, node.addr, silent, node.upstreamAddr, 256)
+	next := node.start()
 	<-discoveryCalled
 	if s := next.adminCall("PING"); !strings.HasPrefix(s, "400") {
 		t.Fatalf("it is ready: %q", s)
 	}
 	begun := time.Now()
 	next.signal(syscall.SIGTERM)
-	if err := next.awaitExit(testTimeout); err != nil {
-		t.Errorf("it ended with %v\n%s", err, next.log)
-	}
+	next.expectExit()
 	if took := time.Since(begun); took > 1500*time.Millisecond {
 		t.Errorf("it took %v", took)
 	}
-	fmt.Fprint(session, "are you there\r\n")
-	if s := session.readLine(); s != "yes" {
-		t.Errorf("relayed %q", s)
-	}
-	if s := dialClient(t, addr, openLine("b")).readLine(); s != "UP r1" {
-		t.Errorf("a new caller: %q", s)
+	session.expectRelayed("after it")
+	if s := dialClient(t, node.addr, openLine("b")).readLine(); s != "UP r1" {
+		t.Errorf("a new client: %q", s)
 	}
 	old.expectMoveAndExit(session)
 }
 
-// An operator's drain that has begun becomes the end's: who was not moved yet is, and
-// REJOIN changes nothing any more.
+// An operator's drain that has begun becomes that of the end: sessions that were not migrated yet
+// are, and REJOIN changes nothing any more.
 func TestTerminatedWhileDraining(t *testing.T) {
 	p, addr, _, _ := startServingNode(t, 1024)
-	session := dialClient(t, addr, openLine("a"))
-	if s := session.readLine(); s != "UP r1" {
-		t.Fatal(s)
-	}
+	session := openSession(t, addr, "a")
 	silent := dialClient(t, addr, "")
 	p.adminCall("LAMEDUCK")
 	begun := time.Now()
 	p.signal(syscall.SIGTERM)
-	for p.adminCall("REJOIN"); !strings.HasPrefix(p.adminCall("PING"), "400"); p.adminCall("REJOIN") { // until it is the end's
+	for isEnding := false; !isEnding; {
+		p.adminCall("REJOIN")
+		isEnding = strings.HasPrefix(p.adminCall("PING"), "400")
 	}
 	if s := session.readToEnd(); s != "MOVE\r\n" {
-		t.Errorf("standing: %q", s)
+		t.Errorf("session: %q", s)
 	}
 	session.Close()
 	if s := silent.readToEnd(); s != "BUSY 500\r\n" {
-		t.Errorf("who rests: %q", s)
+		t.Errorf("a silent client: %q", s)
 	}
 	silent.Close()
-	if err := p.awaitExit(testTimeout); err != nil {
-		t.Errorf("it ended with %v\n%s", err, p.log)
-	}
+	p.expectExit()
 	if took, most := time.Since(begun), 1700*time.Millisecond; took > most {
 		t.Errorf("it took %v, want at most %v", took, most)
 	}
--- a/cmd/coralrelay/tokenresumption_test.go
+++ b/cmd/coralrelay/tokenresumption_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -13,17 +11,15 @@
 	"testing"
 	"time"
 
-	"coralrelay/internal/config"
 	"coralrelay/internal/keyfile"
 	"coralrelay/internal/operatorconfig"
 )
 
-// resumable is a feed server with resumable streams: what it is asked goes to
-// asked, what is put into say goes to its client.
+// resumableServer is an upstream with resumable streams.
 type resumableServer struct {
-	received   chan string
-	replies    chan string
-	rejectsAll *atomic.Bool // turns all away
+	received   chan string  // gets the lines that it receives
+	replies    chan string  // is sent to its client; an empty text resets the connection
+	rejectsAll *atomic.Bool // with a busy answer
 }
 
 func (r resumableServer) serve(conn net.Conn) {
@@ -38,42 +34,40 @@
 			}
 			r.received <- lines.Text()
 			fmt.Fprint(conn, <-r.replies)
-			go func() {
-				for text := range r.replies {
-					if text == "" {
-						_ = conn.(*net.TCPConn).SetLinger(0)
-						conn.Close()
-						return
-					}
-					fmt.Fprint(conn, text)
-				}
-			}()
+			go r.sendReplies(conn)
 		default:
 			r.received <- lines.Text()
 		}
 	}
 }
 
-// resumeNode starts a node with the operator's file, before a resumable next hop.
-func startResumptionNode(t *testing.T, operatorFile operatorconfig.File) (addr string, server resumableServer, terminate context.CancelFunc) {
+func (r resumableServer) sendReplies(conn net.Conn) {
+	for text := range r.replies {
+		if text == "" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+			return
+		}
+		fmt.Fprint(conn, text)
+	}
+}
+
+// startResumptionNode starts a node with the operator's file, before a resumableServer. The test ends
+// after the node, whose store is in a directory of the test.
+func startResumptionNode(t *testing.T, operatorFile operatorconfig.File) (addr string, server resumableServer) {
 	t.Helper()
 	server = resumableServer{make(chan string, 8), make(chan string, 8), new(atomic.Bool)}
-	discovery := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
-	addr = freeAddr(t)
-	path := filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, addr, discovery, listen(t, server.serve), 1024)
-	c, err := config.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] })
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- serve(ctx, nil, c, operatorFile, "") }()
-	t.Cleanup(func() { cancel(); <-done })
-	awaitListening(t, addr)
-	return addr, server, cancel
+	addr, terminate, done := startServe(t, listen(t, server.serve), 1024, operatorFile)
+	t.Cleanup(func() {
+		terminate()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return addr, server
 }
 
+// resumptionEnabled is an operator's file that switches resumption on, with a new key.
 func resumptionEnabled(t *testing.T) operatorconfig.File {
 	t.Helper()
 	operatorFile := operatorconfig.Default()
@@ -89,16 +83,16 @@
 	return "OPEN " + id + " k1 c=feed,d=1200,g=5c,rs=" + rs + "\r\n"
 }
 
-// A client whose next hop breaks off is given a token, goes on with it, and gets a
-// snapshot for the same token once more; each starts the next hop's stream.
+// A client whose upstream breaks off gets a token, resumes with it, and gets a snapshot for the same
+// token once more; each starts the upstream's stream.
 func TestResumesStreamWithToken(t *testing.T) {
-	addr, server, _ := startResumptionNode(t, resumptionEnabled(t))
+	addr, server := startResumptionNode(t, resumptionEnabled(t))
 	openStream := func(id, rs string) (*client, string) {
 		t.Helper()
 		c := dialClient(t, addr, openResumableLine(id, rs))
 		server.replies <- "UP r1 rs=1\r\n"
 		if s := <-server.received; !strings.HasSuffix(s, ",g=5c,rs=1") {
-			t.Fatalf("the next hop got %q", s)
+			t.Fatalf("the upstream got %q", s)
 		}
 		if s := c.readLine(); s != "UP r1 rs=1" {
 			t.Fatalf("answered %q", s)
@@ -122,7 +116,7 @@
 	if !strings.HasPrefix(start, "START resume=c0:41 at=") || !strings.Contains(start, " id=") {
 		t.Fatalf("with the token: %q", start)
 	}
-	server.replies <- "RESUMED c0:41\r\nMOVE\r\n" // drains, and sends its clients away itself
+	server.replies <- "RESUMED c0:41\r\nMOVE\r\n" // it drains, and migrates its clients itself
 	c.readLine()
 	if answer, next, _ := strings.Cut(c.readLine(), " "); answer != "MOVE" || next == "" || next == token {
 		t.Fatalf("%q %q, want a move with a token of its own", answer, next)
@@ -137,9 +131,9 @@
 	}
 }
 
-// A busy answer leaves the token unspent: redeemed is only what a next hop took.
+// A busy answer leaves the token unspent: it is redeemed only once an upstream has accepted.
 func TestBusyLeavesTokenUnspent(t *testing.T) {
-	addr, server, _ := startResumptionNode(t, resumptionEnabled(t))
+	addr, server := startResumptionNode(t, resumptionEnabled(t))
 	c := dialClient(t, addr, openResumableLine("a", "1"))
 	server.replies <- "UP r1 rs=1\r\n"
 	c.readLine()
@@ -163,14 +157,14 @@
 	}
 }
 
-// A ledger that can't be opened does not keep the node from serving.
+// A replay guard that can't be opened does not keep the node from serving.
 func TestServesWithoutReplayGuard(t *testing.T) {
 	operatorFile := resumptionEnabled(t)
 	operatorFile.Resume.ReplayGuard.Dir = filepath.Join(operatorFile.Resume.Keys, "nowhere")
 	if err := os.WriteFile(operatorFile.Resume.ReplayGuard.Dir, nil, 0o600); err != nil { // a file stands in its place
 		t.Fatal(err)
 	}
-	addr, server, _ := startResumptionNode(t, operatorFile)
+	addr, server := startResumptionNode(t, operatorFile)
 	c := dialClient(t, addr, openResumableLine("a", "1"))
 	server.replies <- "UP r1 rs=1\r\n"
 	c.readLine()
@@ -184,27 +178,27 @@
 	server.replies <- ""
 }
 
-// Where it is off, or was not asked for, nothing on any socket is other than
-// before; a next hop without such streams gets no START.
+// Where resumption is off, or was not requested, nothing on any socket differs; an upstream without
+// such streams gets no START.
 func TestResumptionOffChangesNothing(t *testing.T) {
 	on := resumptionEnabled(t)
 	for name, c := range map[string]struct {
-		own  operatorconfig.File
-		list string
-		up   string
+		operatorFile operatorconfig.File
+		list         string
+		up           string
 	}{
-		"off":       {operatorconfig.Default(), "c=feed,d=1200,rs=TOKEN,g=5c", "UP r1 rs=1"},
-		"not asked": {on, "c=feed,d=1200,g=5c", "UP r1"},
-		"old hop":   {on, "c=feed,d=1200,g=5c,rs=1", "UP r1"},
+		"off":          {operatorconfig.Default(), "c=feed,d=1200,rs=TOKEN,g=5c", "UP r1 rs=1"},
+		"not asked":    {on, "c=feed,d=1200,g=5c", "UP r1"},
+		"old upstream": {on, "c=feed,d=1200,g=5c,rs=1", "UP r1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr, server, _ := startResumptionNode(t, c.own)
+			addr, server := startResumptionNode(t, c.operatorFile)
 			client := dialClient(t, addr, "OPEN a k1 "+c.list+"\r\n")
 			server.replies <- c.up + "\r\n"
 			got := <-server.received
 			before, after, _ := strings.Cut(c.list, "d=1200")
 			if !strings.HasPrefix(got, "OPEN a k1 "+before+"d=") || !strings.HasSuffix(got, after) {
-				t.Errorf("the next hop got %q", got)
+				t.Errorf("the upstream got %q", got)
 			}
 			if s := client.readLine(); s != c.up {
 				t.Errorf("answered %q", s)
@@ -218,7 +212,7 @@
 			}
 			select {
 			case s := <-server.received:
-				t.Errorf("the next hop got %q too", s)
+				t.Errorf("the upstream got %q too", s)
 			default:
 			}
 			server.replies <- ""
--- a/cmd/coralrelay/watch_test.go
+++ b/cmd/coralrelay/watch_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// A node whose list is pushed has its watch from its first moment, and anew when one has
-// ended, also by the settings of a reload.
+// A node whose list is pushed watches it from its first moment, and anew when a watch has ended, also
+// by the settings of a reload.
 func TestWatchesPushedList(t *testing.T) {
 	calls, end := make(chan string, 8), make(chan bool)
 	discovery := listen(t, func(conn net.Conn) {
@@ -38,10 +38,10 @@
 		select {
 		case call := <-calls:
 			if !strings.Contains(call, "watch=1&from="+from+" ") {
-				t.Fatalf("asked %q", call)
+				t.Fatalf("requested %q", call)
 			}
 		case <-time.After(testTimeout):
-			t.Fatal("discovery is never asked")
+			t.Fatal("discovery gets no request")
 		}
 	}
 	p := startProcess(t, path, t.TempDir(), nil)
