coralrelay: the wait for the first list is one method

The check whether a sibling is alive stood twice. Nothing else changed. go test of cmd/coralrelay, hotrestart and instancelock passed; the linter is clean.

--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -181,14 +181,6 @@
 	}
 }
 
-// awaitFirstList waits for the first list of endpoints if the sibling process serves
-// meanwhile; without it, clients would wait too.
-func (n *node) awaitFirstList(terminate context.Context) {
-	if n.lock.IsSiblingAlive() {
-		awaitFirstList(terminate, n.updater.firstListReceived, n.lock.IsSiblingAlive)
-	}
-}
-
 // acceptClients starts to accept clients. The channel has the server's error once its
 // listener is closed.
 func (n *node) acceptClients(terminate context.Context) <-chan error {
--- a/cmd/coralrelay/sibling.go
+++ b/cmd/coralrelay/sibling.go
@@ -96,17 +96,17 @@
 	}
 }
 
-// awaitFirstList waits for the first list from discovery, but not for long, and no longer
-// than the sibling process is alive.
-func awaitFirstList(terminate context.Context, received <-chan struct{}, isSiblingAlive func() bool) {
+// awaitFirstList waits for the first list from discovery while the sibling process is alive, which
+// serves meanwhile; without it, clients would wait too. It does not wait for long.
+func (n *node) awaitFirstList(terminate context.Context) {
 	timeout, poll := time.NewTimer(firstListTimeout), time.NewTicker(siblingPollInterval)
 	defer timeout.Stop()
 	defer poll.Stop()
-	for isSiblingAlive() {
+	for n.lock.IsSiblingAlive() {
 		select {
 		case <-poll.C:
 			continue
-		case <-received:
+		case <-n.updater.firstListReceived:
 		case <-timeout.C:
 		case <-terminate.Done():
 		}
