--- /dev/null
+++ b/cmd/coralrelay/sibling_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// A process is terminated while its sibling does not serve: it is not ready yet, or drains too.
+// Clients are not left to nobody: this process answers as it does without a sibling.
+func TestAnswersAloneWhileSiblingDoesNotServe(t *testing.T) {
+	silent := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	for name, drainsToo := range map[string]bool{"not ready": false, "drains too": true} {
+		t.Run(name, func(t *testing.T) {
+			node := newSharedSocket(t, 256)
+			old := node.startServing()
+			session := openSession(t, node.addr, "a")
+			if !drainsToo { // it waits for a discovery that does not answer
+				node.path = filepath.Join(t.TempDir(), "other.json")
+				writeConfig(t, node.path, node.addr, silent, node.upstreamAddr, 256)
+			}
+			next := node.start()
+			if drainsToo {
+				next.untilAnswer("PING", "200")
+				next.signal(syscall.SIGTERM)
+			}
+			next.untilAnswer("PING", "400")
+			next.signal(syscall.SIGSTOP) // where it is
+			old.signal(syscall.SIGTERM)
+			old.untilAnswer("PING", "400")
+			if s := dialClient(t, node.addr, openLine("b")).readLine(); !strings.HasPrefix(s, "BUSY") {
+				t.Errorf("a new client: %q", s)
+			}
+			if s := session.readLine(); s != "MOVE" {
+				t.Errorf("the session: %q", s)
+			}
+			old.expectExit()
+			next.signal(syscall.SIGCONT)
+			if drainsToo {
+				next.expectExit()
+				return
+			}
+			next.untilAnswer("PING", "200")
+			if s := dialClient(t, node.addr, openLine("c")).readLine(); s != "UP r1" {
+				t.Errorf("at the successor: %q", s)
+			}
+		})
+	}
+}
