--- a/internal/flowtable/sources.go
+++ b/internal/flowtable/sources.go
@@ -18,57 +18,57 @@
 // with whoever falls into them too: it may go on while either has a token, so that a
 // source is held up by others only if floods drain both of its slots.
 type Sources struct {
-	o     SourceOptions
-	slots []bucket
+	options SourceOptions
+	buckets []tokenBucket
 }
 
-type bucket struct {
-	tokens float64
-	at     time.Duration
+type tokenBucket struct {
+	tokens     float64
+	refilledAt time.Duration
 }
 
 // NewSources returns them, all full.
-func NewSources(o SourceOptions) *Sources {
-	s := &Sources{o: o, slots: make([]bucket, max(2, o.Slots))}
-	for i := range s.slots {
-		s.slots[i].tokens = o.Burst
+func NewSources(options SourceOptions) *Sources {
+	s := &Sources{options: options, buckets: make([]tokenBucket, max(2, options.Slots))}
+	for i := range s.buckets {
+		s.buckets[i].tokens = options.Burst
 	}
 	return s
 }
 
 // Allow tells whether the source of a key may bring one more flow, and counts it.
-func (s *Sources) Allow(k Key, now time.Duration) bool {
-	if s.o.Rate <= 0 {
+func (s *Sources) Allow(key Key, now time.Duration) bool {
+	if s.options.Rate <= 0 {
 		return true
 	}
-	source := k.Addr
-	if !isV4(source) {
+	source := key.Addr
+	if !isMappedIPv4(source) {
 		clear(source[8:])
 	}
-	h := maphash.Comparable(s.o.Seed, source)
-	n := uint64(len(s.slots))
-	first := s.fill(h%n, now)
-	second := s.fill((h>>32)%n, now)
-	if first.tokens < second.tokens {
-		first = second
+	hash := maphash.Comparable(s.options.Seed, source)
+	count := uint64(len(s.buckets))
+	fuller := s.refill(hash%count, now)
+	second := s.refill((hash>>32)%count, now)
+	if fuller.tokens < second.tokens {
+		fuller = second
 	}
-	if first.tokens < 1 {
+	if fuller.tokens < 1 {
 		return false
 	}
-	first.tokens--
+	fuller.tokens--
 	return true
 }
 
-func (s *Sources) fill(slot uint64, now time.Duration) *bucket {
-	b := &s.slots[slot]
-	if now > b.at { // a clock that steps back gives nothing
-		b.tokens = min(s.o.Burst, b.tokens+s.o.Rate*(now-b.at).Seconds())
-		b.at = now
+func (s *Sources) refill(slot uint64, now time.Duration) *tokenBucket {
+	refilled := &s.buckets[slot]
+	if now > refilled.refilledAt { // a clock that steps back gives nothing
+		refilled.tokens = min(s.options.Burst, refilled.tokens+s.options.Rate*(now-refilled.refilledAt).Seconds())
+		refilled.refilledAt = now
 	}
-	return b
+	return refilled
 }
 
 // isV4 tells whether the address is an IPv4 one, written as ::ffff:a.b.c.d.
-func isV4(a [16]byte) bool {
-	return [12]byte(a[:12]) == [12]byte{10: 0xff, 11: 0xff}
+func isMappedIPv4(address [16]byte) bool {
+	return [12]byte(address[:12]) == [12]byte{10: 0xff, 11: 0xff}
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -59,78 +59,78 @@
 )
 
 const (
-	none  = int32(-1)
-	slots = 64 // of the wheel, in which each is Idle/slots long; two more for what is being filled and emptied
-	wheel = slots + 2
+	noEntry         = int32(-1)
+	slotsPerTimeout = 64 // of the wheel, in which each is Idle/slots long; two more for what is being filled and emptied
+	wheelSlots      = slotsPerTimeout + 2
 )
 
 type entry struct {
-	key     Key
-	hash    uint32
-	gen     uint32
-	count   uint32 // datagrams, while it has not settled
-	settled bool
-	used    bool
-	born    time.Duration
-	last    time.Duration
+	key       Key
+	hash      uint32
+	gen       uint32
+	datagrams uint32 // datagrams, while it has not settled
+	settled   bool
+	used      bool
+	firstSeen time.Duration
+	lastSeen  time.Duration
 	// The entry's neighbours in its wheel slot, and among the flows that have not
 	// settled, the oldest first; among the free ones next alone.
-	slot                 int32
-	slotNext, slotPrev   int32
-	youngNext, youngPrev int32
+	slot                         int32
+	slotNext, slotPrev           int32
+	unsettledNext, unsettledPrev int32
 }
 
 // Table is the flows that are known. One goroutine at a time may use it.
 type Table struct {
-	o       Options
-	entries []entry
-	index   []int32 // open addressing with linear probing; none where empty
-	mask    uint32
-	free    int32
-
-	now      time.Duration // never goes back
-	tick     int64         // the wheel's, of length Idle/slots
-	length   time.Duration
-	wheel    [wheel]int32
-	walking  int32 // the slot that is being emptied, none if none is
-	walked   int32 // the next entry in it
-	oldest   int32
-	youngest int32
-	used     int
-	young    int
+	options   Options
+	entries   []entry
+	index     []int32 // open addressing with linear probing; none where empty
+	mask      uint32
+	firstFree int32
+
+	now             time.Duration // never goes back
+	tick            int64         // the wheel's, of length Idle/slots
+	tickLength      time.Duration
+	wheel           [wheelSlots]int32
+	expiringSlot    int32 // the slot that is being emptied, none if none is
+	nextExpiring    int32 // the next entry in it
+	oldestUnsettled int32
+	newestUnsettled int32
+	used            int
+	unsettled       int
 }
 
 // NewTable returns an empty table, with all its memory.
-func NewTable(o Options) *Table {
+func NewTable(options Options) *Table {
 	size := 2
-	for size < 2*o.Entries {
+	for size < 2*options.Entries {
 		size *= 2
 	}
-	t := &Table{o: o, entries: make([]entry, o.Entries), index: make([]int32, size), mask: uint32(size - 1),
-		length: max(1, o.IdleTimeout/slots), oldest: none, youngest: none, walking: none}
+	t := &Table{options: options, entries: make([]entry, options.Entries), index: make([]int32, size), mask: uint32(size - 1),
+		tickLength: max(1, options.IdleTimeout/slotsPerTimeout), oldestUnsettled: noEntry, newestUnsettled: noEntry, expiringSlot: noEntry}
 	for i := range t.index {
-		t.index[i] = none
+		t.index[i] = noEntry
 	}
 	for i := range t.entries {
-		t.entries[i].youngNext = int32(i) + 1
+		t.entries[i].unsettledNext = int32(i) + 1
 	}
-	t.entries[o.Entries-1].youngNext = none
+	t.entries[options.Entries-1].unsettledNext = noEntry
 	for i := range t.wheel {
-		t.wheel[i] = none
+		t.wheel[i] = noEntry
 	}
 	return t
 }
 
 // Len is how many flows are known, and how many of them have not settled.
-func (t *Table) Len() (all, young int) { return t.used, t.young }
+func (t *Table) Len() (all, unsettled int) { return t.used, t.unsettled }
 
 // Lookup finds a flow.
-func (t *Table) Lookup(k Key) (Ref, bool) {
-	at, ok := t.find(k, t.hash(k))
+func (t *Table) Lookup(key Key) (Ref, bool) {
+	position, ok := t.find(key, t.hash(key))
 	if !ok {
 		return Ref{}, false
 	}
-	i := t.index[at]
+	i := t.index[position]
 	return Ref{i, t.entries[i].gen}, true
 }
 
@@ -147,12 +147,12 @@
 
 // Touch notes a datagram of the flow at a valid place.
 func (t *Table) Touch(r Ref, now time.Duration) {
-	t.pass(now)
+	t.advanceClock(now)
 	e := &t.entries[r.Index]
-	e.last = t.now
+	e.lastSeen = t.now
 	if !e.settled {
-		if e.count++; int(e.count) >= t.o.SettledDatagrams && t.now-e.born >= t.o.SettledAge {
-			t.unlinkYoung(r.Index)
+		if e.datagrams++; int(e.datagrams) >= t.options.SettledDatagrams && t.now-e.firstSeen >= t.options.SettledAge {
+			t.removeUnsettled(r.Index)
 			e.settled = true
 		}
 	}
@@ -160,28 +160,28 @@
 
 // Admit gives a flow that Lookup did not find a place. If another flow has to give
 // way, evicted is told of it first, while it is still valid; it may be nil.
-func (t *Table) Admit(k Key, now time.Duration, evicted func(Ref)) (Ref, Verdict) {
-	t.pass(now)
-	if !t.makeRoom(evicted) {
+func (t *Table) Admit(key Key, now time.Duration, evicted func(Ref)) (Ref, Verdict) {
+	t.advanceClock(now)
+	if !t.ensureFreeEntry(evicted) {
 		return Ref{}, Full
 	}
-	i := t.free
+	i := t.firstFree
 	e := &t.entries[i]
-	t.free = e.youngNext
+	t.firstFree = e.unsettledNext
 	gen := e.gen + 1
 	if gen == 0 {
 		gen = 1
 	}
-	*e = entry{key: k, hash: t.hash(k), gen: gen, used: true, count: 1, born: t.now, last: t.now}
-	at, _ := t.find(k, e.hash)
-	t.index[at] = i
+	*e = entry{key: key, hash: t.hash(key), gen: gen, used: true, datagrams: 1, firstSeen: t.now, lastSeen: t.now}
+	position, _ := t.find(key, e.hash)
+	t.index[position] = i
 	t.used++
-	t.arm(i)
-	if t.o.SettledDatagrams <= 1 && t.o.SettledAge <= 0 {
+	t.schedule(i)
+	if t.options.SettledDatagrams <= 1 && t.options.SettledAge <= 0 {
 		e.settled = true
-		e.youngNext, e.youngPrev = none, none
+		e.unsettledNext, e.unsettledPrev = noEntry, noEntry
 	} else {
-		t.linkYoung(i)
+		t.appendUnsettled(i)
 	}
 	return Ref{i, gen}, Admitted
 }
@@ -189,45 +189,45 @@
 // Remove forgets the flow at a valid place.
 func (t *Table) Remove(r Ref) {
 	e := &t.entries[r.Index]
-	t.unindex(r.Index)
-	t.disarm(r.Index)
+	t.removeFromIndex(r.Index)
+	t.unschedule(r.Index)
 	if !e.settled {
-		t.unlinkYoung(r.Index)
+		t.removeUnsettled(r.Index)
 	}
 	e.used = false
-	e.youngNext = t.free
-	t.free = r.Index
+	e.unsettledNext = t.firstFree
+	t.firstFree = r.Index
 	t.used--
 }
 
 // Advance forgets flows that have been silent for too long, looking at up to most
 // entries. expired is told of each, while it is still valid. It is false if more
 // are due: call it again, soon.
-func (t *Table) Advance(now time.Duration, most int, expired func(Ref)) (done bool) {
-	t.pass(now)
-	target := int64(t.now / t.length)
-	if target-t.tick > wheel { // a long pause: each slot once is enough
-		t.tick = target - wheel
+func (t *Table) Advance(now time.Duration, budget int, expired func(Ref)) (done bool) {
+	t.advanceClock(now)
+	target := int64(t.now / t.tickLength)
+	if target-t.tick > wheelSlots { // a long pause: each slot once is enough
+		t.tick = target - wheelSlots
 	}
 	for {
-		if t.walking == none {
+		if t.expiringSlot == noEntry {
 			if t.tick >= target {
 				return true
 			}
 			t.tick++
-			t.walking = int32(t.tick % wheel)
-			t.walked = t.wheel[t.walking]
+			t.expiringSlot = int32(t.tick % wheelSlots)
+			t.nextExpiring = t.wheel[t.expiringSlot]
 		}
-		for t.walked != none {
-			if most--; most < 0 {
+		for t.nextExpiring != noEntry {
+			if budget--; budget < 0 {
 				return false
 			}
-			i := t.walked
+			i := t.nextExpiring
 			e := &t.entries[i]
-			t.walked = e.slotNext
-			if e.last+t.o.IdleTimeout > t.now { // it was heard of since it was put here
-				t.disarm(i)
-				t.arm(i)
+			t.nextExpiring = e.slotNext
+			if e.lastSeen+t.options.IdleTimeout > t.now { // it was heard of since it was put here
+				t.unschedule(i)
+				t.schedule(i)
 				continue
 			}
 			r := Ref{i, e.gen}
@@ -236,32 +236,32 @@
 			}
 			t.Remove(r)
 		}
-		t.walking = none
+		t.expiringSlot = noEntry
 	}
 }
 
 // pass lets time go on. A clock that steps back stands still here, and goes on with
 // the next that is later.
-func (t *Table) pass(now time.Duration) { t.now = max(t.now, now) }
+func (t *Table) advanceClock(now time.Duration) { t.now = max(t.now, now) }
 
 // ---- who gives way ----
 
-func (t *Table) makeRoom(evicted func(Ref)) bool {
-	full := t.free == none
-	switch t.o.Policy {
+func (t *Table) ensureFreeEntry(evicted func(Ref)) bool {
+	full := t.firstFree == noEntry
+	switch t.options.Policy {
 	case Reserve:
-		open := len(t.entries) - int(t.o.ReservedShare*float64(len(t.entries)))
-		if !full && t.young < open {
+		unreserved := len(t.entries) - int(t.options.ReservedShare*float64(len(t.entries)))
+		if !full && t.unsettled < unreserved {
 			return true
 		}
-		if t.oldest == none { // settled flows alone
+		if t.oldestUnsettled == noEntry { // settled flows alone
 			return !full
 		}
-		t.evict(t.oldest, evicted)
+		t.evict(t.oldestUnsettled, evicted)
 		return true
 	case EvictIdle:
 		if full {
-			t.evict(t.idlest(), evicted)
+			t.evict(t.longestIdle(), evicted)
 		}
 		return true
 	}
@@ -279,16 +279,16 @@
 // idlest finds the flow that was silent longest, to within a slot of the wheel.
 // Entries that were heard of since they were put into their slot go on to the right
 // one, so that each is passed over once for each time it was heard of at most.
-func (t *Table) idlest() int32 {
+func (t *Table) longestIdle() int32 {
 	for tick := t.tick; ; tick++ {
-		for i := t.wheel[tick%wheel]; i != none; {
-			next, due := t.entries[i].slotNext, t.due(i)
+		for i := t.wheel[tick%wheelSlots]; i != noEntry; {
+			next, due := t.entries[i].slotNext, t.expiryTick(i)
 			if due == tick {
 				return i
 			}
-			if due%wheel != tick%wheel { // else it is here for a later turn of the wheel
-				t.disarm(i)
-				t.arm(i)
+			if due%wheelSlots != tick%wheelSlots { // else it is here for a later turn of the wheel
+				t.unschedule(i)
+				t.schedule(i)
 			}
 			i = next
 		}
@@ -298,99 +298,99 @@
 // ---- the wheel ----
 
 // due is the tick in which the entry expires: the first that begins after it.
-func (t *Table) due(i int32) int64 {
-	return max(int64((t.entries[i].last+t.o.IdleTimeout)/t.length)+1, t.tick+1)
+func (t *Table) expiryTick(i int32) int64 {
+	return max(int64((t.entries[i].lastSeen+t.options.IdleTimeout)/t.tickLength)+1, t.tick+1)
 }
 
-func (t *Table) arm(i int32) {
+func (t *Table) schedule(i int32) {
 	e := &t.entries[i]
-	slot := t.due(i) % wheel
-	e.slot, e.slotPrev, e.slotNext = int32(slot), none, t.wheel[slot]
-	if e.slotNext != none {
+	slot := t.expiryTick(i) % wheelSlots
+	e.slot, e.slotPrev, e.slotNext = int32(slot), noEntry, t.wheel[slot]
+	if e.slotNext != noEntry {
 		t.entries[e.slotNext].slotPrev = i
 	}
 	t.wheel[slot] = i
 }
 
-func (t *Table) disarm(i int32) {
+func (t *Table) unschedule(i int32) {
 	e := &t.entries[i]
-	if t.walking == e.slot && t.walked == i {
-		t.walked = e.slotNext
+	if t.expiringSlot == e.slot && t.nextExpiring == i {
+		t.nextExpiring = e.slotNext
 	}
-	if e.slotPrev != none {
+	if e.slotPrev != noEntry {
 		t.entries[e.slotPrev].slotNext = e.slotNext
 	} else {
 		t.wheel[e.slot] = e.slotNext
 	}
-	if e.slotNext != none {
+	if e.slotNext != noEntry {
 		t.entries[e.slotNext].slotPrev = e.slotPrev
 	}
 }
 
 // ---- flows that have not settled ----
 
-func (t *Table) linkYoung(i int32) {
+func (t *Table) appendUnsettled(i int32) {
 	e := &t.entries[i]
-	e.youngPrev, e.youngNext = t.youngest, none
-	if t.youngest != none {
-		t.entries[t.youngest].youngNext = i
+	e.unsettledPrev, e.unsettledNext = t.newestUnsettled, noEntry
+	if t.newestUnsettled != noEntry {
+		t.entries[t.newestUnsettled].unsettledNext = i
 	} else {
-		t.oldest = i
+		t.oldestUnsettled = i
 	}
-	t.youngest = i
-	t.young++
+	t.newestUnsettled = i
+	t.unsettled++
 }
 
-func (t *Table) unlinkYoung(i int32) {
+func (t *Table) removeUnsettled(i int32) {
 	e := &t.entries[i]
-	if e.youngPrev != none {
-		t.entries[e.youngPrev].youngNext = e.youngNext
+	if e.unsettledPrev != noEntry {
+		t.entries[e.unsettledPrev].unsettledNext = e.unsettledNext
 	} else {
-		t.oldest = e.youngNext
+		t.oldestUnsettled = e.unsettledNext
 	}
-	if e.youngNext != none {
-		t.entries[e.youngNext].youngPrev = e.youngPrev
+	if e.unsettledNext != noEntry {
+		t.entries[e.unsettledNext].unsettledPrev = e.unsettledPrev
 	} else {
-		t.youngest = e.youngPrev
+		t.newestUnsettled = e.unsettledPrev
 	}
-	t.young--
+	t.unsettled--
 }
 
 // ---- the index ----
 
-func (t *Table) hash(k Key) uint32 {
-	h := maphash.Comparable(t.o.Seed, k)
-	return uint32(h) ^ uint32(h>>32)
+func (t *Table) hash(key Key) uint32 {
+	sum := maphash.Comparable(t.options.Seed, key)
+	return uint32(sum) ^ uint32(sum>>32)
 }
 
 // find returns where the key stands in the index, or the empty place where it would.
-func (t *Table) find(k Key, hash uint32) (at uint32, ok bool) {
-	for at = hash & t.mask; ; at = (at + 1) & t.mask {
-		i := t.index[at]
-		if i == none {
-			return at, false
+func (t *Table) find(key Key, hash uint32) (position uint32, ok bool) {
+	for position = hash & t.mask; ; position = (position + 1) & t.mask {
+		i := t.index[position]
+		if i == noEntry {
+			return position, false
 		}
-		if e := &t.entries[i]; e.hash == hash && e.key == k {
-			return at, true
+		if e := &t.entries[i]; e.hash == hash && e.key == key {
+			return position, true
 		}
 	}
 }
 
 // unindex takes an entry out and closes the gap (Knuth, volume 3, 6.4, algorithm R),
 // so that look-ups need no marks of what was removed.
-func (t *Table) unindex(i int32) {
-	at, _ := t.find(t.entries[i].key, t.entries[i].hash)
-	for gap := at; ; {
-		at = (at + 1) & t.mask
-		next := t.index[at]
-		if next == none {
-			t.index[gap] = none
+func (t *Table) removeFromIndex(i int32) {
+	position, _ := t.find(t.entries[i].key, t.entries[i].hash)
+	for gap := position; ; {
+		position = (position + 1) & t.mask
+		next := t.index[position]
+		if next == noEntry {
+			t.index[gap] = noEntry
 			return
 		}
-		home := t.entries[next].hash & t.mask
-		if (at-home)&t.mask >= (at-gap)&t.mask {
+		idealSlot := t.entries[next].hash & t.mask
+		if (position-idealSlot)&t.mask >= (position-gap)&t.mask {
 			t.index[gap] = next
-			gap = at
+			gap = position
 		}
 	}
 }
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -42,7 +42,7 @@
 				table, m := NewTable(o), model{flows: map[Key]*modelFlow{}}
 				var now time.Duration
 				var old []Ref
-				tick := o.IdleTimeout / slots
+				tick := o.IdleTimeout / slotsPerTimeout
 				forget := func(r Ref) {
 					f := m.flows[table.Key(r)]
 					if f == nil || f.ref != r || !table.IsValid(r) {
@@ -157,7 +157,7 @@
 		if v != Admitted || (gaveWay != nil) != full {
 			t.Fatalf("idle: full %v, verdict %v, gave way %+v", full, v, gaveWay)
 		}
-		if gaveWay != nil && idlest != nil && gaveWay.last > idlest.last+2*o.IdleTimeout/slots {
+		if gaveWay != nil && idlest != nil && gaveWay.last > idlest.last+2*o.IdleTimeout/slotsPerTimeout {
 			t.Fatalf("idle: one heard of at %v gave way, another was silent since %v", gaveWay.last, idlest.last)
 		}
 	case Reserve:
--- a/internal/flowtable/waiting.go
+++ b/internal/flowtable/waiting.go
@@ -11,43 +11,43 @@
 // Waiting is the datagrams of one flow that wait for a decision, the oldest first.
 // Its zero value is empty.
 type Queue struct {
-	list  [][]byte
-	bytes int
+	datagrams [][]byte
+	bytes     int
 }
 
 // Len is how many wait.
-func (w *Queue) Len() int { return len(w.list) }
+func (w *Queue) Len() int { return len(w.datagrams) }
 
 // Put lets a datagram wait, which is then the queue's. Where there is no room the
 // oldest of this flow make it, never those of another: dropped is told of each, and
 // of the datagram itself if there is no room for it at all.
-func (w *Queue) Put(d []byte, b QueueLimit, r *QueueBudget, dropped func([]byte)) {
-	for len(w.list) > 0 && (len(w.list) >= b.Count || w.bytes+len(d) > b.Bytes || r.Count < 1 || r.Bytes < len(d)) {
-		dropped(w.take(r))
+func (w *Queue) Put(datagram []byte, limit QueueLimit, budget *QueueBudget, dropped func([]byte)) {
+	for len(w.datagrams) > 0 && (len(w.datagrams) >= limit.Count || w.bytes+len(datagram) > limit.Bytes || budget.Count < 1 || budget.Bytes < len(datagram)) {
+		dropped(w.pop(budget))
 	}
-	if b.Count < 1 || len(d) > b.Bytes || r.Count < 1 || r.Bytes < len(d) {
-		dropped(d)
+	if limit.Count < 1 || len(datagram) > limit.Bytes || budget.Count < 1 || budget.Bytes < len(datagram) {
+		dropped(datagram)
 		return
 	}
-	w.list = append(w.list, d)
-	w.bytes += len(d)
-	r.Count--
-	r.Bytes -= len(d)
+	w.datagrams = append(w.datagrams, datagram)
+	w.bytes += len(datagram)
+	budget.Count--
+	budget.Bytes -= len(datagram)
 }
 
-func (w *Queue) take(r *QueueBudget) []byte {
-	d := w.list[0]
-	w.list = w.list[1:]
-	w.bytes -= len(d)
-	r.Count++
-	r.Bytes += len(d)
-	return d
+func (w *Queue) pop(budget *QueueBudget) []byte {
+	datagram := w.datagrams[0]
+	w.datagrams = w.datagrams[1:]
+	w.bytes -= len(datagram)
+	budget.Count++
+	budget.Bytes += len(datagram)
+	return datagram
 }
 
 // Drain hands over all that wait, in order.
-func (w *Queue) Drain(r *QueueBudget, to func([]byte)) {
-	for len(w.list) > 0 {
-		to(w.take(r))
+func (w *Queue) Drain(budget *QueueBudget, deliver func([]byte)) {
+	for len(w.datagrams) > 0 {
+		deliver(w.pop(budget))
 	}
-	w.list = nil
+	w.datagrams = nil
 }
