--- a/internal/flowtable/evidence_test.go
+++ b/internal/flowtable/evidence_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func TestSilence(t *testing.T) {
+func TestIsSilent(t *testing.T) {
 	const s = time.Second
 	o := SilenceOptions{After: 3 * s, Datagrams: 10}
 	answers := func(e *LivenessEvidence, n int, from time.Duration) time.Duration {
--- a/internal/flowtable/limits_test.go
+++ b/internal/flowtable/limits_test.go
@@ -10,7 +10,7 @@
 
 // A source gets its rate and no more; others beside a flood get theirs, but for the
 // few whose two slots the flood has drained.
-func TestSources(t *testing.T) {
+func TestSourceRateIsLimitedPerSource(t *testing.T) {
 	s := NewSources(SourceOptions{Slots: 4096, Rate: 10, Burst: 5, Seed: maphash.MakeSeed()})
 	flood := Key{Addr: [16]byte{10: 0xff, 11: 0xff, 12: 127, 15: 9}}
 	passed := 0
@@ -51,7 +51,7 @@
 
 // What waits stays within its bounds, in order, and every datagram is handed over
 // or dropped, once.
-func TestWaiting(t *testing.T) {
+func TestQueueStaysWithinLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := QueueLimit{rapid.IntRange(0, 4).Draw(t, "count"), rapid.IntRange(0, 40).Draw(t, "bytes")}
 		all := QueueBudget{rapid.IntRange(0, 8).Draw(t, "all"), rapid.IntRange(0, 60).Draw(t, "all bytes")}
@@ -89,38 +89,38 @@
 	})
 }
 
-func wanted(r Ref) bool { return r.Gen == 0 }
+func isFirstGeneration(r Ref) bool { return r.Gen == 0 }
 
 // The newest go first where they shall, and a line of many that nobody wants any
 // more does not grow.
-func TestPaceNewest(t *testing.T) {
+func TestPacerServesNewestFirst(t *testing.T) {
 	p := Pacer{Rate: 1, Burst: 2, NewestFirst: true}
 	for i := range 100_000 {
-		p.Add(Ref{Index: int32(i), Gen: uint32(min(1, 99_990-min(99_990, i)))}, wanted) // the last ten are wanted
+		p.Add(Ref{Index: int32(i), Gen: uint32(min(1, 99_990-min(99_990, i)))}, isFirstGeneration) // the last ten are wanted
 	}
 	if p.Len() > 3000 {
 		t.Errorf("%d in line", p.Len())
 	}
 	for want := int32(99_999); want > 99_997; want-- {
-		if r, ok, _ := p.Next(0, wanted); !ok || r.Index != want {
+		if r, ok, _ := p.Next(0, isFirstGeneration); !ok || r.Index != want {
 			t.Errorf("%v, %v, want %d", r, ok, want)
 		}
 	}
-	if _, ok, wait := p.Next(0, wanted); ok || wait <= 0 {
+	if _, ok, wait := p.Next(0, isFirstGeneration); ok || wait <= 0 {
 		t.Error("beyond its burst")
 	}
 }
 
-func TestPace(t *testing.T) {
+func TestPacerKeepsRateAndOrder(t *testing.T) {
 	p := Pacer{Rate: 100, Burst: 10}
 	for i := range 3000 {
-		p.Add(Ref{Index: int32(i)}, wanted)
-		p.Add(Ref{Index: int32(i), Gen: 1}, wanted) // nobody wants it any more: it takes no turn
+		p.Add(Ref{Index: int32(i)}, isFirstGeneration)
+		p.Add(Ref{Index: int32(i), Gen: 1}, isFirstGeneration) // nobody wants it any more: it takes no turn
 	}
 	next := int32(0)
 	for ms := time.Duration(0); p.Len() > 0; ms++ {
 		for {
-			r, ok, wait := p.Next(ms*time.Millisecond, wanted)
+			r, ok, wait := p.Next(ms*time.Millisecond, isFirstGeneration)
 			if !ok {
 				if wait <= 0 && p.Len() > 0 {
 					t.Fatal("some wait, and nobody is told how long")
--- a/internal/flowtable/table_test.go
+++ b/internal/flowtable/table_test.go
@@ -9,37 +9,37 @@
 	"pgregory.net/rapid"
 )
 
-func options(entries int, p Policy) Options {
+func testOptions(entries int, p Policy) Options {
 	return Options{Entries: entries, IdleTimeout: 640 * time.Millisecond, Policy: p, ReservedShare: 0.5, SettledDatagrams: 3, SettledAge: 20 * time.Millisecond,
 		Seed: maphash.MakeSeed()}
 }
 
-func keyOf(n int) (k Key) {
+func testKey(n int) (k Key) {
 	k.Addr[14], k.Addr[15], k.Port = byte(n>>8), byte(n), 7
 	return k
 }
 
 // model is a table as anybody would write it: a map, searched from end to end.
-type model struct {
-	flows map[Key]*modelFlow
-	order int
+type modelTable struct {
+	flows    map[Key]*modelFlow
+	nextRank int
 }
 
 type modelFlow struct {
-	ref         Ref
-	born, last  time.Duration
-	count, rank int
-	settled     bool
+	ref                 Ref
+	firstSeen, lastSeen time.Duration
+	datagrams, rank     int
+	settled             bool
 }
 
 // The table does what a plain map does, whatever comes in whatever order; what it
 // forgets it forgets in time, and a place that had another flow is not valid.
-func TestAgainstMap(t *testing.T) {
+func TestTableMatchesModel(t *testing.T) {
 	for name, policy := range map[string]Policy{"reserve": Reserve, "refuse": RefuseNew, "idle": EvictIdle} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
-				o := options(rapid.IntRange(1, 12).Draw(t, "entries"), policy)
-				table, m := NewTable(o), model{flows: map[Key]*modelFlow{}}
+				o := testOptions(rapid.IntRange(1, 12).Draw(t, "entries"), policy)
+				table, m := NewTable(o), modelTable{flows: map[Key]*modelFlow{}}
 				var now time.Duration
 				var old []Ref
 				tick := o.IdleTimeout / slotsPerTimeout
@@ -58,15 +58,15 @@
 					case 2:
 						for done := false; !done; {
 							done = table.Advance(now, rapid.IntRange(1, 5).Draw(t, "most"), func(r Ref) {
-								if f := m.flows[table.Key(r)]; f != nil && f.last+o.IdleTimeout > table.now {
-									t.Fatalf("expired %v early", o.IdleTimeout-(table.now-f.last))
+								if f := m.flows[table.Key(r)]; f != nil && f.lastSeen+o.IdleTimeout > table.now {
+									t.Fatalf("expired %v early", o.IdleTimeout-(table.now-f.lastSeen))
 								}
 								forget(r)
 							})
 						}
 						for k, f := range m.flows {
-							if table.now-f.last > o.IdleTimeout+2*tick {
-								t.Fatalf("%v has been silent for %v and is still there", k, table.now-f.last)
+							if table.now-f.lastSeen > o.IdleTimeout+2*tick {
+								t.Fatalf("%v has been silent for %v and is still there", k, table.now-f.lastSeen)
 							}
 						}
 					case 3:
@@ -77,7 +77,7 @@
 							break
 						}
 					default:
-						k := keyOf(rapid.IntRange(0, 30).Draw(t, "key"))
+						k := testKey(rapid.IntRange(0, 30).Draw(t, "key"))
 						r, ok := table.Lookup(k)
 						f := m.flows[k]
 						if ok != (f != nil) || ok && r != f.ref {
@@ -85,8 +85,8 @@
 						}
 						if ok {
 							table.Touch(r, now)
-							f.last = table.now
-							if f.count++; !f.settled && f.count >= o.SettledDatagrams && f.last-f.born >= o.SettledAge {
+							f.lastSeen = table.now
+							if f.datagrams++; !f.settled && f.datagrams >= o.SettledDatagrams && f.lastSeen-f.firstSeen >= o.SettledAge {
 								f.settled = true
 							}
 							if table.IsSettled(r) != f.settled {
@@ -96,10 +96,10 @@
 						}
 						var gaveWay *modelFlow
 						r, v := table.Admit(k, now, func(r Ref) { gaveWay = m.flows[table.Key(r)]; forget(r) })
-						m.check(t, table, o, gaveWay, v)
+						m.checkAdmission(t, table, o, gaveWay, v)
 						if v == Admitted {
-							m.order++
-							m.flows[k] = &modelFlow{ref: r, born: table.now, last: table.now, count: 1, rank: m.order}
+							m.nextRank++
+							m.flows[k] = &modelFlow{ref: r, firstSeen: table.now, lastSeen: table.now, datagrams: 1, rank: m.nextRank}
 						}
 					}
 					all, young := table.Len()
@@ -127,7 +127,7 @@
 }
 
 // check holds an admission to the policy. gaveWay is out of the model by now.
-func (m *model) check(t *rapid.T, table *Table, o Options, gaveWay *modelFlow, v Verdict) {
+func (m *modelTable) checkAdmission(t *rapid.T, table *Table, o Options, gaveWay *modelFlow, v Verdict) {
 	before := len(m.flows)
 	if gaveWay != nil {
 		before++
@@ -140,7 +140,7 @@
 				oldest = f
 			}
 		}
-		if idlest == nil || f.last < idlest.last {
+		if idlest == nil || f.lastSeen < idlest.lastSeen {
 			idlest = f
 		}
 	}
@@ -157,8 +157,8 @@
 		if v != Admitted || (gaveWay != nil) != full {
 			t.Fatalf("idle: full %v, verdict %v, gave way %+v", full, v, gaveWay)
 		}
-		if gaveWay != nil && idlest != nil && gaveWay.last > idlest.last+2*o.IdleTimeout/slotsPerTimeout {
-			t.Fatalf("idle: one heard of at %v gave way, another was silent since %v", gaveWay.last, idlest.last)
+		if gaveWay != nil && idlest != nil && gaveWay.lastSeen > idlest.lastSeen+2*o.IdleTimeout/slotsPerTimeout {
+			t.Fatalf("idle: one heard of at %v gave way, another was silent since %v", gaveWay.lastSeen, idlest.lastSeen)
 		}
 	case Reserve:
 		open := o.Entries - int(o.ReservedShare*float64(o.Entries))
@@ -175,12 +175,12 @@
 }
 
 // A flood of flows of one datagram leaves settled flows alone.
-func TestFlood(t *testing.T) {
-	o := options(1000, Reserve)
+func TestFloodLeavesSettledFlowsAlone(t *testing.T) {
+	o := testOptions(1000, Reserve)
 	table := NewTable(o)
 	var steady []Ref
 	for i := range 400 {
-		r, v := table.Admit(keyOf(i), 0, nil)
+		r, v := table.Admit(testKey(i), 0, nil)
 		if v != Admitted {
 			t.Fatal(v)
 		}
@@ -210,7 +210,7 @@
 func BenchmarkTable(b *testing.B) {
 	for _, entries := range []int{10_000, 1_000_000, 10_000_000} {
 		for _, share := range []int{10, 100} {
-			o := options(entries, Reserve)
+			o := testOptions(entries, Reserve)
 			o.ReservedShare, o.SettledDatagrams, o.SettledAge = 0, 1, 0
 			table := NewTable(o)
 			n := entries / 100 * share
