--- a/internal/udp/errors_unix.go
+++ b/internal/udp/errors_unix.go
@@ -6,7 +6,7 @@
 )
 
 // truncated marks a datagram that did not fit.
-const truncated = syscall.MSG_TRUNC
+const truncatedFlag = syscall.MSG_TRUNC
 
 // isRefused tells whether an error is an ICMP port unreachable of before.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -25,24 +25,24 @@
 	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
 		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
 	}
-	conns, err := listen(o.Listen, n)
+	conns, err := openSockets(o.Listen, n)
 	if err != nil {
 		return nil, fmt.Errorf("udp: %w", err)
 	}
 	var all Listeners
 	for i, conn := range conns {
-		f := newFront(o.part(n), conn, core, hops)
+		f := newListener(o.share(n), conn, core, hops)
 		if n > 1 {
-			f.name = fmt.Sprintf("u%d.", i)
+			f.idPrefix = fmt.Sprintf("u%d.", i)
 		}
-		f.ports = newPorts(i, n)
+		f.sourcePorts = newSourcePorts(i, n)
 		all = append(all, f)
 	}
 	return all, nil
 }
 
 // part is one front's part of n. Those that come from one source are dealt like all others.
-func (o Options) part(n int) Options {
+func (o Options) share(n int) Options {
 	share := func(x int) int { return max(1, (x+n-1)/n) }
 	o.Table.Entries, o.Sockets = share(o.Table.Entries), max(1, o.Sockets/n)
 	o.QueueBudget.Count, o.QueueBudget.Bytes = share(o.QueueBudget.Count), share(o.QueueBudget.Bytes)
@@ -54,7 +54,7 @@
 }
 
 // listen opens so many sockets at one address.
-func listen(at netip.AddrPort, n int) (conns []*net.UDPConn, err error) {
+func openSockets(at netip.AddrPort, n int) (conns []*net.UDPConn, err error) {
 	// One that shares with nobody at first: those that do share with any other process of
 	// this user's that does, and nobody would be told that the address is taken.
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
@@ -111,27 +111,27 @@
 	var sum Counts
 	waiting := 0
 	for _, f := range all {
-		waiting += f.o.QueueBudget.Count - f.room.Count
-		into := sum.all()
-		for i, c := range f.Counts.all() {
-			into[i].n.Add(c.n.Load())
+		waiting += f.options.QueueBudget.Count - f.queueBudget.Count
+		into := sum.named()
+		for i, c := range f.Counts.named() {
+			into[i].value.Add(c.value.Load())
 		}
 	}
 	values := []any{"waiting", waiting}
-	for _, c := range sum.all() {
-		values = append(values, c.name, c.n.Load())
+	for _, c := range sum.named() {
+		values = append(values, c.name, c.value.Load())
 	}
 	slog.Info("udp ended", values...)
 }
 
-type count struct {
-	name string
-	n    *atomic.Int64
+type namedCount struct {
+	name  string
+	value *atomic.Int64
 }
 
 // all names the counts.
-func (c *Counts) all() []count {
-	return []count{{"in", &c.In}, {"forwarded", &c.Forwarded}, {"replies", &c.Replies}, {"stray", &c.Stray}, {"full", &c.Full},
+func (c *Counts) named() []namedCount {
+	return []namedCount{{"in", &c.In}, {"forwarded", &c.Forwarded}, {"replies", &c.Replies}, {"stray", &c.UnmatchedReplies}, {"full", &c.Full},
 		{"limited", &c.Limited}, {"queue", &c.Queue}, {"refused", &c.Refused}, {"unsent", &c.Unsent}, {"gone", &c.Gone},
 		{"opened", &c.Opened}, {"expired", &c.Expired}, {"evicted", &c.Evicted}, {"replaced", &c.Replaced}, {"silent", &c.Silent}}
 }
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -13,106 +13,106 @@
 
 const (
 	// seeks is how often silent next hops are looked for, and asks how often one is sent an echo.
-	seeks, asks = 250 * time.Millisecond, time.Second
+	silenceCheckInterval, echoInterval = 250 * time.Millisecond, time.Second
 )
 
 // health is what the front keeps of a next hop, under its lock.
-type health struct {
-	server   string
-	flows    int // that stand there
-	evidence flowtable.LivenessEvidence
+type endpointHealth struct {
+	endpointID string
+	boundFlows int // that stand there
+	evidence   flowtable.LivenessEvidence
 
-	echo     *net.UDPConn // nil where probes tell
-	asked    bool         // an echo is out
-	answered bool
-	askAt    time.Time
+	echoConn     *net.UDPConn // nil where probes tell
+	echoSent     bool         // an echo is out
+	echoAnswered bool
+	nextEchoAt   time.Time
 }
 
 // healthOf returns a next hop's, which is kept for as long as the list names it: what it
 // used to do counts when it has flows again.
-func (f *Listener) healthOf(server string, addr netip.AddrPort) *health {
+func (f *Listener) endpointHealth(server string, addr netip.AddrPort) *endpointHealth {
 	h := f.health[server]
 	if h == nil {
-		h = &health{server: server}
+		h = &endpointHealth{endpointID: server}
 		f.health[server] = h
 	}
-	if h.echo == nil && f.o.Echo != "" && f.o.Silence.After > 0 {
-		conn, err := f.ports.dial(addr)
+	if h.echoConn == nil && f.options.Echo != "" && f.options.Silence.After > 0 {
+		conn, err := f.sourcePorts.dial(addr)
 		if err != nil {
-			f.failed.Warn("udp: socket for echoes", "nexthop", server, "err", err)
+			f.warnings.Warn("udp: socket for echoes", "nexthop", server, "err", err)
 			return h
 		}
-		h.echo = conn
-		f.wg.Go(func() { f.echoes(h, conn) })
+		h.echoConn = conn
+		f.wg.Go(func() { f.readEchoes(h, conn) })
 	}
 	return h
 }
 
-func (h *health) close() {
-	if h.echo != nil {
-		_ = h.echo.Close()
-		h.echo = nil
+func (h *endpointHealth) close() {
+	if h.echoConn != nil {
+		_ = h.echoConn.Close()
+		h.echoConn = nil
 	}
 }
 
 // echoes notes what answers an echo, whatever it says.
-func (f *Listener) echoes(h *health, conn *net.UDPConn) {
-	b := make([]byte, usual)
+func (f *Listener) readEchoes(h *endpointHealth, conn *net.UDPConn) {
+	b := make([]byte, typicalDatagramSize)
 	for {
 		_, err := conn.Read(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		f.mu.Lock()
-		if h.echo != conn {
+		if h.echoConn != conn {
 			f.mu.Unlock()
 			return
 		}
-		h.answered = h.answered || err == nil
+		h.echoAnswered = h.echoAnswered || err == nil
 		f.mu.Unlock()
 	}
 }
 
 // leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
 // elsewhere with their next datagrams, at the pace.
-func (f *Listener) leaveSilent(now time.Time) {
-	if f.o.Silence.After <= 0 || now.Before(f.soughtAt) {
+func (f *Listener) replaceSilent(now time.Time) {
+	if f.options.Silence.After <= 0 || now.Before(f.silenceCheckAt) {
 		return
 	}
-	f.soughtAt = now.Add(seeks)
+	f.silenceCheckAt = now.Add(silenceCheckInterval)
 	at := now.Sub(f.start)
 	for _, h := range f.health {
-		if h.flows == 0 {
+		if h.boundFlows == 0 {
 			h.close() // it is asked while it has flows
-			h.asked = false
+			h.echoSent = false
 			continue
 		}
-		f.inquire(h, now)
-		if !h.evidence.IsSilent(at, f.o.Silence) || mutation.Enabled("silence") {
+		f.probe(h, now)
+		if !h.evidence.IsSilent(at, f.options.Silence) || mutation.Enabled("silence") {
 			continue
 		}
-		n := f.lose(h)
+		n := f.replaceFlowsOf(h)
 		h.evidence.FlowRemoved()
 		f.Counts.Silent.Add(int64(n))
-		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.server, "flows", n)
+		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.endpointID, "flows", n)
 	}
 }
 
 // inquire takes the latest word on a next hop, and asks for another.
-func (f *Listener) inquire(h *health, now time.Time) {
+func (f *Listener) probe(h *endpointHealth, now time.Time) {
 	at := now.Sub(f.start)
 	switch {
-	case h.echo == nil:
-		h.evidence.ProbeAnswered(at, f.hops.IsResponsive(h.server))
-	case now.Before(h.askAt):
-		if h.answered {
+	case h.echoConn == nil:
+		h.evidence.ProbeAnswered(at, f.endpoints.IsResponsive(h.endpointID))
+	case now.Before(h.nextEchoAt):
+		if h.echoAnswered {
 			h.evidence.ProbeAnswered(at, true)
 		}
 	default:
-		if h.asked {
-			h.evidence.ProbeAnswered(at, h.answered)
+		if h.echoSent {
+			h.evidence.ProbeAnswered(at, h.echoAnswered)
 		}
-		h.asked, h.answered, h.askAt = true, false, now.Add(asks)
-		_, _ = h.echo.Write([]byte(f.o.Echo)) // a refusal shows at the flows' sockets
+		h.echoSent, h.echoAnswered, h.nextEchoAt = true, false, now.Add(echoInterval)
+		_, _ = h.echoConn.Write([]byte(f.options.Echo)) // a refusal shows at the flows' sockets
 	}
 }
--- a/internal/udp/ports.go
+++ b/internal/udp/ports.go
@@ -14,11 +14,11 @@
 // comes again only after all others. Left to the kernel, which draws them, the next flow
 // to the same next hop may get the port of one that has just expired, and with it the
 // answer that was still on its way to that.
-type ports struct{ first, count, next int }
+type sourcePorts struct{ first, count, next int }
 
 // newPorts takes one of n parts of the machine's range for such ports.
-func newPorts(part, n int) ports {
-	p := ports{first: 32768, count: 28232}
+func newSourcePorts(part, n int) sourcePorts {
+	p := sourcePorts{first: 32768, count: 28232}
 	var first, last int
 	if raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
 		if n, _ := fmt.Sscan(string(raw), &first, &last); n == 2 && first > 0 && first <= last && last < 1<<16 {
@@ -31,13 +31,13 @@
 }
 
 // tries bounds how many ports in a row may be somebody else's.
-const tries = 256
+const maxPortAttempts = 256
 
-var errPorts = errors.New("no free port")
+var errNoFreePort = errors.New("no free port")
 
 // dial connects to an address from the next port that is free.
-func (p *ports) dial(to netip.AddrPort) (*net.UDPConn, error) {
-	for range min(tries, p.count) {
+func (p *sourcePorts) dial(to netip.AddrPort) (*net.UDPConn, error) {
+	for range min(maxPortAttempts, p.count) {
 		from := net.UDPAddr{Port: p.first + p.next}
 		p.next = (p.next + 1) % p.count
 		conn, err := net.DialUDP("udp", &from, net.UDPAddrFromAddrPort(to))
@@ -45,5 +45,5 @@
 			return conn, err
 		}
 	}
-	return nil, errPorts
+	return nil, errNoFreePort
 }
--- a/internal/udp/runs.go
+++ b/internal/udp/runs.go
@@ -11,41 +11,41 @@
 const (
 	// longestRun is how many datagrams the kernel cuts from one message, and largestRun
 	// how many bytes that may have.
-	longestRun, largestRun = 64, 60_000
+	maxSegments, maxSegmentedBytes = 64, 60_000
 	// largestCut is the largest datagram that is cut: beyond the smallest way there the
 	// kernel refuses what it would otherwise split.
-	largestCut = 1200
+	maxSegmentSize = 1200
 )
 
 // runs joins datagrams of one size that stand in a row into one message, which the kernel
 // cuts again (UDP_SEGMENT): one way through its layers instead of many. The last of a run
 // may be shorter.
-type runs struct {
-	off      bool           // they can't be cut on the way there
-	list     []ipv4.Message // the datagrams
-	starts   []int          // of each message: its first datagram
-	messages []ipv4.Message
-	buffers  [][]byte
-	control  []byte
+type segmenter struct {
+	disabled  bool           // they can't be cut on the way there
+	datagrams []ipv4.Message // the datagrams
+	starts    []int          // of each message: its first datagram
+	messages  []ipv4.Message
+	buffers   [][]byte
+	control   []byte
 }
 
-var controlLen = unix.CmsgSpace(2)
+var segmentControlLen = unix.CmsgSpace(2)
 
 // join returns a batch with its runs joined. It is good until the next call.
-func (r *runs) join(list []ipv4.Message) []ipv4.Message {
-	r.list, r.starts, r.messages, r.buffers = list, r.starts[:0], r.messages[:0], r.buffers[:0]
+func (r *segmenter) join(list []ipv4.Message) []ipv4.Message {
+	r.datagrams, r.starts, r.messages, r.buffers = list, r.starts[:0], r.messages[:0], r.buffers[:0]
 	if r.control == nil {
-		r.control = make([]byte, batch*controlLen)
+		r.control = make([]byte, batchSize*segmentControlLen)
 	}
 	for i := 0; i < len(list); {
-		at, n := len(r.buffers), r.run(list[i:])
+		at, n := len(r.buffers), r.runLength(list[i:])
 		r.starts = append(r.starts, i)
 		for _, m := range list[i : i+n] {
 			r.buffers = append(r.buffers, m.Buffers...)
 		}
 		m := ipv4.Message{Buffers: r.buffers[at:len(r.buffers):len(r.buffers)]}
 		if n > 1 {
-			m.OOB = segment(r.control[len(r.messages)*controlLen:][:controlLen], size(&list[i]))
+			m.OOB = segmentControl(r.control[len(r.messages)*segmentControlLen:][:segmentControlLen], messageSize(&list[i]))
 		}
 		r.messages = append(r.messages, m)
 		i += n
@@ -54,13 +54,13 @@
 }
 
 // run is how many datagrams at the begin of a list go into one message.
-func (r *runs) run(list []ipv4.Message) (n int) {
-	first := size(&list[0])
-	if r.off || first == 0 || first > largestCut {
+func (r *segmenter) runLength(list []ipv4.Message) (n int) {
+	first := messageSize(&list[0])
+	if r.disabled || first == 0 || first > maxSegmentSize {
 		return 1
 	}
-	for n = 1; n < min(len(list), longestRun) && (n+1)*first <= largestRun; n++ {
-		switch next := size(&list[n]); {
+	for n = 1; n < min(len(list), maxSegments) && (n+1)*first <= maxSegmentedBytes; n++ {
+		switch next := messageSize(&list[n]); {
 		case next == first:
 		case next > 0 && next < first:
 			return n + 1 // a shorter one ends it
@@ -72,8 +72,8 @@
 }
 
 // length is how many datagrams are in one of the messages.
-func (r *runs) length(message int) int {
-	end := len(r.list)
+func (r *segmenter) datagramsIn(message int) int {
+	end := len(r.datagrams)
 	if message+1 < len(r.starts) {
 		end = r.starts[message+1]
 	}
@@ -81,13 +81,13 @@
 }
 
 // part returns the datagrams from a message on, each by itself, and joins none any more.
-func (r *runs) part(message int) []ipv4.Message {
-	r.off = true
-	return r.join(r.list[r.starts[message]:])
+func (r *segmenter) splitFrom(message int) []ipv4.Message {
+	r.disabled = true
+	return r.join(r.datagrams[r.starts[message]:])
 }
 
 // size is how long a message is.
-func size(m *ipv4.Message) (n int) {
+func messageSize(m *ipv4.Message) (n int) {
 	for _, b := range m.Buffers {
 		n += len(b)
 	}
@@ -95,7 +95,7 @@
 }
 
 // segment writes the control message that has the kernel cut a message.
-func segment(c []byte, size int) []byte {
+func segmentControl(c []byte, size int) []byte {
 	head := (*unix.Cmsghdr)(unsafe.Pointer(&c[0]))
 	head.Level, head.Type = unix.IPPROTO_UDP, unix.UDP_SEGMENT
 	head.SetLen(unix.CmsgLen(2))
--- a/internal/udp/runs_test.go
+++ b/internal/udp/runs_test.go
@@ -27,13 +27,13 @@
 // nothing, none too large to be cut, and each counted.
 func TestRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{0, 1, 63, 64, 64, 64, 64, 65, 1200, 1201, 60_000}), 1, batch).Draw(t, "sizes")
+		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{0, 1, 63, 64, 64, 64, 64, 65, 1200, 1201, 60_000}), 1, batchSize).Draw(t, "sizes")
 		list, want := []ipv4.Message{}, [][]byte{}
 		for i, n := range sizes {
 			d := bytes.Repeat([]byte{byte(i)}, n)
 			list, want = append(list, ipv4.Message{Buffers: [][]byte{d[:n/3], d[n/3:]}}), append(want, d)
 		}
-		r := runs{off: rapid.Bool().Draw(t, "off")}
+		r := segmenter{disabled: rapid.Bool().Draw(t, "off")}
 		messages := r.join(list)
 		from := 0
 		check := func() {
@@ -41,10 +41,10 @@
 			got := [][]byte{}
 			for i, m := range messages {
 				parts := cut(m)
-				if len(parts) != r.length(i) {
-					t.Fatalf("message %d: %d datagrams, counted as %d", i, len(parts), r.length(i))
+				if len(parts) != r.datagramsIn(i) {
+					t.Fatalf("message %d: %d datagrams, counted as %d", i, len(parts), r.datagramsIn(i))
 				}
-				if n := size(&m); len(parts) > 1 && (r.off || len(parts[0]) > largestCut || n > largestRun || len(parts) > longestRun) {
+				if n := messageSize(&m); len(parts) > 1 && (r.disabled || len(parts[0]) > maxSegmentSize || n > maxSegmentedBytes || len(parts) > maxSegments) {
 					t.Fatalf("a run of %d, %d bytes", len(parts), n)
 				}
 				got = append(got, parts...)
@@ -59,9 +59,9 @@
 			}
 		}
 		check()
-		if at := rapid.IntRange(0, len(messages)-1).Draw(t, "fails"); !r.off { // the way can't cut
+		if at := rapid.IntRange(0, len(messages)-1).Draw(t, "fails"); !r.disabled { // the way can't cut
 			from = r.starts[at]
-			messages = r.part(at)
+			messages = r.splitFrom(at)
 			check()
 		}
 	})
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -26,16 +26,16 @@
 
 const (
 	// batch is how many datagrams are read at once.
-	batch = 64
+	batchSize = 64
 	// largest is the largest datagram.
-	largest = 65507
+	maxDatagramSize = 65507
 	// usual is the size that is expected, for which buffers are kept; a larger one is
 	// read all the same.
-	usual = 2048
+	typicalDatagramSize = 2048
 	// step is how often flows expire and waiting ones are placed.
-	step = 20 * time.Millisecond
+	maintenanceInterval = 20 * time.Millisecond
 	// expiring is how many flows are looked at in a step.
-	expiring = 4096
+	maxExpiredPerStep = 4096
 )
 
 // Decider places flows; *decide.Core does.
@@ -76,7 +76,7 @@
 
 // Counts say what became of datagrams: In = Forwarded + the drops + what waits.
 type Counts struct {
-	In, Forwarded, Replies, Stray               atomic.Int64
+	In, Forwarded, Replies, UnmatchedReplies    atomic.Int64
 	Full, Limited, Queue, Refused, Unsent, Gone atomic.Int64
 	Opened, Expired, Evicted, Replaced          atomic.Int64
 	Silent                                      atomic.Int64 // of those replaced: their next hop had fallen silent
@@ -89,67 +89,67 @@
 
 // Front serves one socket.
 type Listener struct {
-	o       Options
-	core    Dispatcher
-	hops    Endpoints
-	conn    *net.UDPConn
-	addr    netip.AddrPort // where it listens
-	packets *ipv4.PacketConn
-	start   time.Time
-	Counts  Counts
-	failed  logging.Throttled
-
-	mu       sync.Mutex
-	table    *flowtable.Table
-	sources  *flowtable.Sources
-	room     flowtable.QueueBudget
-	fresh    flowtable.Pacer    // new flows in line
-	again    flowtable.Pacer    // those that were placed before, which go first
-	flows    []place            // beside the table's entries
-	placed   int                // flows that have a socket
-	sockets  int                // that they have
-	ports    ports              // that those come from
-	outlets  map[string]*outlet // the shared ones, by next hop
-	due      []*outlet          // have something to write
-	name     string             // that its placements have in common
-	named    uint64
-	health   map[string]*health // of next hops that have or had flows
-	soughtAt time.Time          // when silent ones are next looked for
-	clock    time.Duration      // when the batch came that is under way
-	wg       sync.WaitGroup
-	closed   bool
-	outbox   []func() // what the Core is to be told, in order
-	news     chan struct{}
+	options    Options
+	dispatcher Dispatcher
+	endpoints  Endpoints
+	conn       *net.UDPConn
+	addr       netip.AddrPort // where it listens
+	packets    *ipv4.PacketConn
+	start      time.Time
+	Counts     Counts
+	warnings   logging.Throttled
+
+	mu             sync.Mutex
+	table          *flowtable.Table
+	sources        *flowtable.Sources
+	queueBudget    flowtable.QueueBudget
+	newFlows       flowtable.Pacer            // new flows in line
+	replacedFlows  flowtable.Pacer            // those that were placed before, which go first
+	bindings       []binding                  // beside the table's entries
+	boundFlows     int                        // flows that have a socket
+	openSockets    int                        // that they have
+	sourcePorts    sourcePorts                // that those come from
+	sharedSockets  map[string]*upstreamSocket // the shared ones, by next hop
+	unflushed      []*upstreamSocket          // have something to write
+	idPrefix       string                     // that its placements have in common
+	lastID         uint64
+	health         map[string]*endpointHealth // of next hops that have or had flows
+	silenceCheckAt time.Time                  // when silent ones are next looked for
+	batchTime      time.Duration              // when the batch came that is under way
+	wg             sync.WaitGroup
+	closed         bool
+	outbox         []func() // what the Core is to be told, in order
+	outboxReady    chan struct{}
 }
 
 // place is what the front keeps of a flow.
-type place struct {
-	client  netip.AddrPort
-	waiting flowtable.Queue
-	item    *item // the placement that is asked for or stands, nil if none is
-	inLine  bool  // it waits to be placed again
+type binding struct {
+	client          netip.AddrPort
+	queue           flowtable.Queue
+	placement       *placement // the placement that is asked for or stands, nil if none is
+	awaitsPlacement bool       // it waits to be placed again
 }
 
 // item is one placement of a flow.
-type item struct {
+type placement struct {
 	dispatch.Request
-	front *Listener
-	ref   flowtable.Ref
+	listener *Listener
+	ref      flowtable.Ref
 	// Under the front's lock:
-	server string
-	out    *outlet // set while it stands
-	over   bool
+	endpointID string
+	socket     *upstreamSocket // set while it stands
+	ended      bool
 }
 
 // newFront returns one that takes what comes by conn. Serve has to be called for anything
 // to happen.
-func newFront(o Options, conn *net.UDPConn, core Dispatcher, hops Endpoints) *Listener {
+func newListener(o Options, conn *net.UDPConn, core Dispatcher, hops Endpoints) *Listener {
 	if o.Table.Seed == (maphash.Seed{}) {
 		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
 	}
-	return &Listener{o: o, core: core, hops: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
-		start: time.Now(), name: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), room: o.QueueBudget, fresh: o.NewFlows, again: o.ReplacedFlows,
-		flows: make([]place, o.Table.Entries), outlets: map[string]*outlet{}, health: map[string]*health{}, news: make(chan struct{}, 1)}
+	return &Listener{options: o, dispatcher: core, endpoints: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
+		start: time.Now(), idPrefix: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), queueBudget: o.QueueBudget, newFlows: o.NewFlows, replacedFlows: o.ReplacedFlows,
+		bindings: make([]binding, o.Table.Entries), sharedSockets: map[string]*upstreamSocket{}, health: map[string]*endpointHealth{}, outboxReady: make(chan struct{}, 1)}
 }
 
 // Addr is where it listens.
@@ -160,7 +160,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known, _ = f.table.Len()
-	return known, f.placed
+	return known, f.boundFlows
 }
 
 // Serve forwards until ctx ends; then it lets all flows go and closes its sockets.
@@ -169,16 +169,16 @@
 	defer stop()
 	over := make(chan struct{})
 	var teller sync.WaitGroup
-	teller.Go(func() { f.tell(over) })
+	teller.Go(func() { f.runOutbox(over) })
 	defer teller.Wait()
 	defer close(over)
-	f.wg.Go(func() { f.keep(ctx) })
-	f.read(ctx)
+	f.wg.Go(func() { f.maintain(ctx) })
+	f.readDatagrams(ctx)
 	f.mu.Lock()
 	f.closed = true
-	for i := range f.flows {
-		if x := f.flows[i].item; x != nil {
-			f.end(x, balance.Cancelled)
+	for i := range f.bindings {
+		if x := f.bindings[i].placement; x != nil {
+			f.endPlacement(x, balance.Cancelled)
 		}
 	}
 	for _, h := range f.health {
@@ -190,19 +190,19 @@
 
 // say has the Core told, under the lock and without waiting: the Core may itself be
 // waiting for the lock, to answer a flow.
-func (f *Listener) say(news func()) {
+func (f *Listener) notify(news func()) {
 	f.outbox = append(f.outbox, news)
 	select {
-	case f.news <- struct{}{}:
+	case f.outboxReady <- struct{}{}:
 	default:
 	}
 }
 
 // tell tells the Core, until over is closed and all has been told.
-func (f *Listener) tell(over <-chan struct{}) {
+func (f *Listener) runOutbox(over <-chan struct{}) {
 	for ended := false; !ended; {
 		select {
-		case <-f.news:
+		case <-f.outboxReady:
 		case <-over:
 			ended = true
 		}
@@ -216,13 +216,13 @@
 	}
 }
 
-func (f *Listener) now() time.Duration { return time.Since(f.start) }
+func (f *Listener) elapsed() time.Duration { return time.Since(f.start) }
 
 // read takes datagrams in batches.
-func (f *Listener) read(ctx context.Context) {
-	messages := make([]ipv4.Message, batch)
+func (f *Listener) readDatagrams(ctx context.Context) {
+	messages := make([]ipv4.Message, batchSize)
 	for i := range messages {
-		messages[i].Buffers = [][]byte{make([]byte, largest)}
+		messages[i].Buffers = [][]byte{make([]byte, maxDatagramSize)}
 	}
 	for {
 		n, err := f.packets.ReadBatch(messages, 0)
@@ -230,17 +230,17 @@
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			f.failed.Warn("udp: read", "err", err)
+			f.warnings.Warn("udp: read", "err", err)
 			time.Sleep(time.Millisecond)
 			continue
 		}
 		now := time.Now()
 		f.mu.Lock()
-		f.clock = now.Sub(f.start)
+		f.batchTime = now.Sub(f.start)
 		for i := range messages[:n] {
 			m := &messages[i]
 			if from, ok := m.Addr.(*net.UDPAddr); ok {
-				f.take(from.AddrPort(), m.Buffers[0][:m.N], now)
+				f.handleDatagram(from.AddrPort(), m.Buffers[0][:m.N], now)
 			}
 		}
 		f.flush()
@@ -249,7 +249,7 @@
 }
 
 // take is called under the lock for each datagram.
-func (f *Listener) take(from netip.AddrPort, d []byte, now time.Time) {
+func (f *Listener) handleDatagram(from netip.AddrPort, d []byte, now time.Time) {
 	f.Counts.In.Add(1)
 	k := flowtable.Key{Addr: from.Addr().As16(), Port: from.Port()}
 	at := now.Sub(f.start)
@@ -264,101 +264,101 @@
 		var v flowtable.Verdict
 		if r, v = f.table.Admit(k, at, func(old flowtable.Ref) {
 			f.Counts.Evicted.Add(1)
-			f.leave(old)
+			f.forgetFlow(old)
 		}); v != flowtable.Admitted {
 			f.Counts.Full.Add(1)
 			return
 		}
 		f.Counts.Opened.Add(1)
-		f.flows[r.Index] = place{client: from, inLine: true}
-		f.fresh.Add(r, f.wants)
-		f.placeInLine(now)
+		f.bindings[r.Index] = binding{client: from, awaitsPlacement: true}
+		f.newFlows.Add(r, f.needsPlacement)
+		f.placeQueued(now)
 	}
-	p := &f.flows[r.Index]
-	if x := p.item; x != nil && x.out != nil {
-		if f.maySend(x, now) {
+	p := &f.bindings[r.Index]
+	if x := p.placement; x != nil && x.socket != nil {
+		if f.canSend(x, now) {
 			f.send(p, x, d)
 			return
 		}
-		f.replace(x, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
+		f.replacePlacement(x, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
 	}
-	if p.item == nil && !p.inLine {
-		p.inLine = true
-		f.again.Add(r, f.wants)
-		f.placeInLine(now)
+	if p.placement == nil && !p.awaitsPlacement {
+		p.awaitsPlacement = true
+		f.replacedFlows.Add(r, f.needsPlacement)
+		f.placeQueued(now)
 	}
-	p.waiting.Put(append([]byte(nil), d...), f.o.FlowQueue, &f.room, func([]byte) { f.Counts.Queue.Add(1) })
+	p.queue.Put(append([]byte(nil), d...), f.options.FlowQueue, &f.queueBudget, func([]byte) { f.Counts.Queue.Add(1) })
 }
 
 // ask has the module place a flow.
-func (f *Listener) ask(r flowtable.Ref, now time.Time) {
-	p := &f.flows[r.Index]
-	f.named++
+func (f *Listener) requestPlacement(r flowtable.Ref, now time.Time) {
+	p := &f.bindings[r.Index]
+	f.lastID++
 	k := p.client.Addr().String()
-	x := &item{front: f, ref: r, Request: dispatch.Request{ID: f.name + strconv.FormatUint(f.named, 36), Class: f.o.Class, Key: k,
-		Deadline: now.Add(f.o.Deadline)}}
-	p.item = x
-	f.say(func() { f.core.Submit(x, f) })
+	x := &placement{listener: f, ref: r, Request: dispatch.Request{ID: f.idPrefix + strconv.FormatUint(f.lastID, 36), Class: f.options.Class, Key: k,
+		Deadline: now.Add(f.options.Deadline)}}
+	p.placement = x
+	f.notify(func() { f.dispatcher.Submit(x, f) })
 }
 
 // replace ends a flow's placement. It is placed again when it next sends and its turn
 // has come: of the flows of a server that is lost, most may have nothing more to say.
-func (f *Listener) replace(x *item, outcome balance.Outcome) {
-	f.end(x, outcome)
+func (f *Listener) replacePlacement(x *placement, outcome balance.Outcome) {
+	f.endPlacement(x, outcome)
 	f.Counts.Replaced.Add(1)
 }
 
 // wants tells whether a flow in line still has to be placed.
-func (f *Listener) wants(r flowtable.Ref) bool {
-	return f.table.IsValid(r) && f.flows[r.Index].item == nil
+func (f *Listener) needsPlacement(r flowtable.Ref) bool {
+	return f.table.IsValid(r) && f.bindings[r.Index].placement == nil
 }
 
 // placeInLine asks for those whose turn it is.
-func (f *Listener) placeInLine(now time.Time) {
-	for _, line := range []*flowtable.Pacer{&f.again, &f.fresh} {
+func (f *Listener) placeQueued(now time.Time) {
+	for _, line := range []*flowtable.Pacer{&f.replacedFlows, &f.newFlows} {
 		for {
-			r, ok, _ := line.Next(now.Sub(f.start), f.wants)
+			r, ok, _ := line.Next(now.Sub(f.start), f.needsPlacement)
 			if !ok {
 				break
 			}
-			f.flows[r.Index].inLine = false
-			f.ask(r, now)
+			f.bindings[r.Index].awaitsPlacement = false
+			f.requestPlacement(r, now)
 		}
 	}
 }
 
 // end ends a placement, whatever its state.
-func (f *Listener) end(x *item, outcome balance.Outcome) {
-	if x.over {
+func (f *Listener) endPlacement(x *placement, outcome balance.Outcome) {
+	if x.ended {
 		return
 	}
-	x.over = true
-	if f.flows[x.ref.Index].item == x {
-		f.flows[x.ref.Index].item = nil
+	x.ended = true
+	if f.bindings[x.ref.Index].placement == x {
+		f.bindings[x.ref.Index].placement = nil
 	}
-	if x.out == nil {
-		f.say(func() { f.core.ClientGone(x) })
+	if x.socket == nil {
+		f.notify(func() { f.dispatcher.ClientGone(x) })
 		return
 	}
-	out := x.out
-	x.out = nil
-	f.placed--
-	f.letGo(out)
-	f.say(func() { f.core.PlacementEnded(x, outcome) })
+	out := x.socket
+	x.socket = nil
+	f.boundFlows--
+	f.releaseSocket(out)
+	f.notify(func() { f.dispatcher.PlacementEnded(x, outcome) })
 }
 
 // leave forgets what the front has of a flow.
-func (f *Listener) leave(r flowtable.Ref) {
-	p := &f.flows[r.Index]
-	p.waiting.Drain(&f.room, func([]byte) { f.Counts.Gone.Add(1) })
-	if p.item != nil {
-		f.end(p.item, balance.OK)
+func (f *Listener) forgetFlow(r flowtable.Ref) {
+	p := &f.bindings[r.Index]
+	p.queue.Drain(&f.queueBudget, func([]byte) { f.Counts.Gone.Add(1) })
+	if p.placement != nil {
+		f.endPlacement(p.placement, balance.OK)
 	}
 }
 
 // keep lets time pass: flows expire, those in line are placed again.
-func (f *Listener) keep(ctx context.Context) {
-	tick := time.NewTicker(step)
+func (f *Listener) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -369,13 +369,13 @@
 		now := time.Now()
 		f.mu.Lock()
 		if !mutation.Enabled("expiry") {
-			f.table.Advance(f.now(), expiring, func(r flowtable.Ref) {
+			f.table.Advance(f.elapsed(), maxExpiredPerStep, func(r flowtable.Ref) {
 				f.Counts.Expired.Add(1)
-				f.leave(r)
+				f.forgetFlow(r)
 			})
 		}
-		f.placeInLine(now)
-		f.leaveSilent(now)
+		f.placeQueued(now)
+		f.replaceSilent(now)
 		f.mu.Unlock()
 	}
 }
@@ -387,22 +387,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	leaving := map[string]bool{}
-	for i := range f.flows {
-		x := f.flows[i].item
-		if x == nil || x.out == nil {
+	for i := range f.bindings {
+		x := f.bindings[i].placement
+		if x == nil || x.socket == nil {
 			continue
 		}
-		gone, known := leaving[x.server]
+		gone, known := leaving[x.endpointID]
 		if !known {
-			gone = f.hops.IsDraining(x.server, now)
-			leaving[x.server] = gone
+			gone = f.endpoints.IsDraining(x.endpointID, now)
+			leaving[x.endpointID] = gone
 		}
 		if gone {
-			f.replace(x, balance.Cancelled)
+			f.replacePlacement(x, balance.Cancelled)
 		}
 	}
 	for server, h := range f.health {
-		if h.flows == 0 && f.hops.Address(server) == "" {
+		if h.boundFlows == 0 && f.endpoints.Address(server) == "" {
 			h.close()
 			delete(f.health, server)
 		}
@@ -415,45 +415,45 @@
 // there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
 // silence ends it later.
 func (f *Listener) StartAttempt(i dispatch.Placement, attempt int, server string, _ time.Time) {
-	x := i.(*item)
+	x := i.(*placement)
 	f.wg.Go(func() {
 		begun := time.Now()
-		if f.up(x, server, begun) {
-			f.core.AttemptEstablished(x, attempt, server, 0) // nobody was asked
+		if f.establish(x, server, begun) {
+			f.dispatcher.AttemptEstablished(x, attempt, server, 0) // nobody was asked
 		} else {
-			f.core.AttemptEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
+			f.dispatcher.AttemptEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
 		}
 	})
 }
 
-func (f *Listener) up(x *item, server string, now time.Time) bool {
+func (f *Listener) establish(x *placement, server string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if x.over || f.closed || !f.hops.CanSend(server, now) {
+	if x.ended || f.closed || !f.endpoints.CanSend(server, now) {
 		return false
 	}
-	out, made, err := f.outlet(server)
+	out, made, err := f.acquireSocket(server)
 	if err != nil {
-		f.failed.Warn("udp: socket", "nexthop", server, "err", err)
+		f.warnings.Warn("udp: socket", "nexthop", server, "err", err)
 		return false
 	}
-	x.out, x.server = out, server
-	f.placed++
-	f.clock = now.Sub(f.start)
-	p := &f.flows[x.ref.Index]
-	p.waiting.Drain(&f.room, func(d []byte) {
-		if x.out != nil {
+	x.socket, x.endpointID = out, server
+	f.boundFlows++
+	f.batchTime = now.Sub(f.start)
+	p := &f.bindings[x.ref.Index]
+	p.queue.Drain(&f.queueBudget, func(d []byte) {
+		if x.socket != nil {
 			f.send(p, x, d)
 		} else {
 			f.Counts.Unsent.Add(1) // refused on the way
 		}
 	})
 	f.flush()
-	if made && out.flows > 0 { // else it stood, if not for long; Ended has been told
-		if f.o.SharedSockets {
-			f.wg.Go(func() { f.sharedReplies(out) })
+	if made && out.boundFlows > 0 { // else it stood, if not for long; Ended has been told
+		if f.options.SharedSockets {
+			f.wg.Go(func() { f.relaySharedReplies(out) })
 		} else {
-			f.wg.Go(func() { f.replies(x, out.conn) })
+			f.wg.Go(func() { f.relayReplies(x, out.conn) })
 		}
 	}
 	return true
@@ -461,37 +461,37 @@
 
 // replies passes on what a next hop answers, to the flow's own client alone: the
 // socket is that placement's, and ends with it.
-func (f *Listener) replies(x *item, conn *net.UDPConn) {
-	client := f.clientOf(x)
-	buffer := make([]byte, usual)
+func (f *Listener) relayReplies(x *placement, conn *net.UDPConn) {
+	client := f.clientAddress(x)
+	buffer := make([]byte, typicalDatagramSize)
 	for {
 		n, _, flags, _, err := conn.ReadMsgUDPAddrPort(buffer, nil)
 		if err != nil {
 			f.mu.Lock()
-			if isRefused(err) && !x.over {
-				f.replace(x, balance.Reset)
+			if isRefused(err) && !x.ended {
+				f.replacePlacement(x, balance.Reset)
 			}
-			gone := x.over
+			gone := x.ended
 			f.mu.Unlock()
 			if gone || errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
 		}
-		if flags&truncated != 0 && len(buffer) < largest {
-			buffer = make([]byte, largest) // this one is lost, the next is not
-			f.Counts.Stray.Add(1)
+		if flags&truncatedFlag != 0 && len(buffer) < maxDatagramSize {
+			buffer = make([]byte, maxDatagramSize) // this one is lost, the next is not
+			f.Counts.UnmatchedReplies.Add(1)
 			continue
 		}
 		f.mu.Lock()
-		stands := !x.over && f.table.IsValid(x.ref)
+		stands := !x.ended && f.table.IsValid(x.ref)
 		if stands {
-			x.out.hop.evidence.Received()
-			f.table.Touch(x.ref, f.now())
+			x.socket.health.evidence.Received()
+			f.table.Touch(x.ref, f.elapsed())
 		}
 		f.mu.Unlock()
 		if !stands {
-			f.Counts.Stray.Add(1)
+			f.Counts.UnmatchedReplies.Add(1)
 			continue
 		}
 		if _, err := f.conn.WriteToUDPAddrPort(buffer[:n], client); err == nil {
@@ -500,41 +500,41 @@
 	}
 }
 
-func (f *Listener) clientOf(x *item) netip.AddrPort {
+func (f *Listener) clientAddress(x *placement) netip.AddrPort {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.flows[x.ref.Index].client
+	return f.bindings[x.ref.Index].client
 }
 
 // Asked is the request.
-func (x *item) PlacementRequest() *dispatch.Request { return &x.Request }
+func (x *placement) PlacementRequest() *dispatch.Request { return &x.Request }
 
 // Refuse drops what waits: a datagram's client has no other answer.
-func (x *item) Reject(time.Duration) bool { return x.Fail() }
+func (x *placement) Reject(time.Duration) bool { return x.Fail() }
 
 // Fail is the same. The flow is placed anew with its next datagram.
-func (x *item) Fail() bool {
-	f := x.front
+func (x *placement) Fail() bool {
+	f := x.listener
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if x.over || x.out != nil {
+	if x.ended || x.socket != nil {
 		return false
 	}
-	x.over = true
-	p := &f.flows[x.ref.Index]
-	if p.item == x {
-		p.item = nil
-		p.waiting.Drain(&f.room, func([]byte) { f.Counts.Refused.Add(1) })
+	x.ended = true
+	p := &f.bindings[x.ref.Index]
+	if p.placement == x {
+		p.placement = nil
+		p.queue.Drain(&f.queueBudget, func([]byte) { f.Counts.Refused.Add(1) })
 		f.table.Remove(x.ref)
 	}
 	return true
 }
 
 // Move has the flow placed again, in mid-flow.
-func (x *item) Migrate() {
-	x.front.mu.Lock()
-	defer x.front.mu.Unlock()
-	if x.out != nil {
-		x.front.replace(x, balance.Cancelled)
+func (x *placement) Migrate() {
+	x.listener.mu.Lock()
+	defer x.listener.mu.Unlock()
+	if x.socket != nil {
+		x.listener.replacePlacement(x, balance.Cancelled)
 	}
 }
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -99,7 +99,7 @@
 	h.addr[name], h.conns[name] = conn.LocalAddr().String(), conn
 	h.mu.Unlock()
 	go func() {
-		b := make([]byte, largest)
+		b := make([]byte, maxDatagramSize)
 		for {
 			n, from, err := conn.ReadFromUDPAddrPort(b)
 			if err != nil {
@@ -107,7 +107,7 @@
 			}
 			h.mu.Lock()
 			head, text := []byte{}, b[:n]
-			if _, _, _, rest, err := cutProxy(text); err == nil { // it says whose its answer is
+			if _, _, _, rest, err := parseProxyHeader(text); err == nil { // it says whose its answer is
 				head, text = bytes.Clone(text[:n-len(rest)]), rest
 			}
 			h.got[name] = append(h.got[name], string(text[:min(len(text), 20)]))
@@ -117,7 +117,7 @@
 				continue
 			}
 			answer := append(append(head, name+":"...), text...)
-			_, _ = conn.WriteToUDPAddrPort(answer[:min(len(answer), largest)], from)
+			_, _ = conn.WriteToUDPAddrPort(answer[:min(len(answer), maxDatagramSize)], from)
 		}
 	}()
 }
@@ -199,7 +199,7 @@
 
 func (c client) expect(want string) {
 	c.t.Helper()
-	b := make([]byte, largest)
+	b := make([]byte, maxDatagramSize)
 	n, err := c.Read(b)
 	if got := string(b[:n]); err != nil || got != want {
 		c.t.Fatalf("got %.40q, %v, want %.40q", got, err, want)
@@ -498,14 +498,14 @@
 	say := func(hop string, to client, text string) {
 		t.Helper()
 		client := to.LocalAddr().(*net.UDPAddr).AddrPort()
-		d := append(appendProxy(nil, client, f.Addr(), f.refOf(client)), text...)
+		d := append(appendProxyHeader(nil, client, f.Addr(), f.refOf(client)), text...)
 		if _, err := h.conns[hop].WriteToUDPAddrPort(d, nodeAt[hop]); err != nil {
 			t.Fatal(err)
 		}
 	}
 	stray := func(n int64) {
 		t.Helper()
-		eventually(t, "what is stray is counted", func() bool { return f.Counts.Stray.Load() == n })
+		eventually(t, "what is stray is counted", func() bool { return f.Counts.UnmatchedReplies.Load() == n })
 	}
 	say("b", one, "stands at a") // nor at another client's next hop
 	stray(1)
@@ -513,7 +513,7 @@
 		t.Fatal(err)
 	}
 	stray(2)
-	if _, err := h.conns["a"].WriteToUDPAddrPort(make([]byte, 3*usual), nodeAt["a"]); err != nil {
+	if _, err := h.conns["a"].WriteToUDPAddrPort(make([]byte, 3*typicalDatagramSize), nodeAt["a"]); err != nil {
 		t.Fatal(err)
 	}
 	stray(3)
@@ -524,7 +524,7 @@
 	one.expect("of its own accord")
 	old := f.refOf(one.LocalAddr().(*net.UDPAddr).AddrPort())
 	old.Gen-- // a flow that had this place, and this client's address, before
-	if _, err := h.conns["a"].WriteToUDPAddrPort(append(appendProxy(nil, one.LocalAddr().(*net.UDPAddr).AddrPort(), f.Addr(), old), "old"...), nodeAt["a"]); err != nil {
+	if _, err := h.conns["a"].WriteToUDPAddrPort(append(appendProxyHeader(nil, one.LocalAddr().(*net.UDPAddr).AddrPort(), f.Addr(), old), "old"...), nodeAt["a"]); err != nil {
 		t.Fatal(err)
 	}
 	stray(5)
@@ -533,7 +533,7 @@
 	h.mu.Unlock()
 	one.send("2") // moves to b
 	one.expect("b:2")
-	if n := f.Counts.Stray.Load(); n != 5 {
+	if n := f.Counts.UnmatchedReplies.Load(); n != 5 {
 		t.Errorf("%d stray", n)
 	}
 	if open := f.socketsOf(); len(open) != 1 {
@@ -554,7 +554,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := map[string]netip.AddrPort{}
-	for s, out := range f.outlets {
+	for s, out := range f.sharedSockets {
 		m[s] = out.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	}
 	return m
@@ -576,7 +576,7 @@
 			eventually(t, "they arrive", func() bool { return h.count("a") == 5*(i+1) })
 		}
 	}
-	clients[7].send(string(make([]byte, largest))) // with its header too large to go on
+	clients[7].send(string(make([]byte, maxDatagramSize))) // with its header too large to go on
 	clients[7].send("after")
 	for i, c := range clients {
 		for n := range 5 {
@@ -628,7 +628,7 @@
 			in, out := int64(0), int64(0)
 			for _, f := range all {
 				in += f.Counts.In.Load()
-				out += f.Counts.Forwarded.Load() + f.Counts.Dropped() + int64(f.o.QueueBudget.Count-f.room.Count)
+				out += f.Counts.Forwarded.Load() + f.Counts.Dropped() + int64(f.options.QueueBudget.Count-f.queueBudget.Count)
 			}
 			if in != out || len(c.ended) != len(c.placed) || len(c.placed) < 50 {
 				t.Errorf("%d in, %d out, dropped or waiting; %d ended of %d that stood", in, out, len(c.ended), len(c.placed))
@@ -691,10 +691,10 @@
 	}
 	var tight Options
 	tight.Table.Entries, tight.Sockets, tight.QueueBudget, tight.NewFlows = 100, 8, flowtable.QueueBudget{Count: 4, Bytes: 10}, flowtable.Pacer{Rate: 30, Burst: 2}
-	if p := tight.part(3); p.Table.Entries != 34 || p.Sockets != 2 || p.QueueBudget != (flowtable.QueueBudget{Count: 2, Bytes: 4}) || p.NewFlows.Rate != 10 || p.NewFlows.Burst != 1 {
+	if p := tight.share(3); p.Table.Entries != 34 || p.Sockets != 2 || p.QueueBudget != (flowtable.QueueBudget{Count: 2, Bytes: 4}) || p.NewFlows.Rate != 10 || p.NewFlows.Burst != 1 {
 		t.Errorf("a third of the bounds: %+v", p)
 	}
-	if a, b := newPorts(0, 2), newPorts(1, 2); a.first+a.count != b.first {
+	if a, b := newSourcePorts(0, 2), newSourcePorts(1, 2); a.first+a.count != b.first {
 		t.Errorf("ports %+v and %+v", a, b)
 	}
 }
@@ -707,18 +707,18 @@
 
 func FuzzProxy(f *testing.F) {
 	four, six := netip.MustParseAddrPort("127.0.0.9:53"), netip.MustParseAddrPort("[::1]:7")
-	f.Add(append(appendProxy(nil, four, four, flowtable.Ref{}), "hello"...))
-	f.Add(append(appendProxy(nil, six, four, flowtable.Ref{Index: 7, Gen: 3}), "hello"...))
-	f.Add([]byte(signature))
+	f.Add(append(appendProxyHeader(nil, four, four, flowtable.Ref{}), "hello"...))
+	f.Add(append(appendProxyHeader(nil, six, four, flowtable.Ref{Index: 7, Gen: 3}), "hello"...))
+	f.Add([]byte(proxySignature))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		src, dst, r, rest, err := cutProxy(b)
+		src, dst, r, rest, err := parseProxyHeader(b)
 		if err != nil {
 			return
 		}
 		if r.Gen == 0 {
 			r = flowtable.Ref{} // no flow's
 		}
-		again, to, r2, rest2, err := cutProxy(append(appendProxy(nil, src, dst, r), rest...))
+		again, to, r2, rest2, err := parseProxyHeader(append(appendProxyHeader(nil, src, dst, r), rest...))
 		if err != nil || again.Port() != src.Port() || to.Addr().Unmap() != dst.Addr().Unmap() || r2 != r || !bytes.Equal(rest, rest2) {
 			t.Errorf("%v -> %v, %v", src, again, err)
 		}
