--- a/cmd/coralrelay/lists.go
+++ b/cmd/coralrelay/lists.go
@@ -40,6 +40,6 @@
 		f.firstListOnce.Do(func() { close(f.firstListReceived) })
 	}
 	if f.udpListeners != nil {
-		f.udpListeners.Look()
+		f.udpListeners.EndpointsChanged()
 	}
 }
--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -95,9 +95,9 @@
 func (all Listeners) Addr() netip.AddrPort { return all[0].addr }
 
 // Look is Front.Look for each.
-func (all Listeners) Look() {
+func (all Listeners) EndpointsChanged() {
 	for _, f := range all {
-		f.Look()
+		f.EndpointsChanged()
 	}
 }
 
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -382,7 +382,7 @@
 
 // Look is told that the list of next hops has changed: flows whose next hop drains or
 // is gone leave it at once, and what they send next goes elsewhere, at the pace.
-func (f *Listener) Look() {
+func (f *Listener) EndpointsChanged() {
 	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -264,7 +264,7 @@
 	h.leaving["a"], h.leaving["b"] = false, true
 	h.mu.Unlock()
 	c.set("a")
-	f.Look() // and told, it does not wait for a datagram to let the next hop go
+	f.EndpointsChanged() // and told, it does not wait for a datagram to let the next hop go
 	eventually(t, "the placement ends", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -375,7 +375,7 @@
 			h.mu.Lock()
 			h.leaving["a"] = true
 			h.mu.Unlock()
-			f.Look()
+			f.EndpointsChanged()
 			for i, x := range asked {
 				f.StartAttempt(x, 0, []string{"a", "b"}[i%2], x.PlacementRequest().Deadline)
 				if i%100 == 99 {
@@ -683,7 +683,7 @@
 			h.leaving["a"] = true
 			h.mu.Unlock()
 			c.set("b")
-			all.Look()
+			all.EndpointsChanged()
 			if _, placed := all[0].Len(); placed != 0 {
 				t.Error("a front has not heard of a drain")
 			}
