--- a/internal/udp/fronts.go
+++ b/internal/udp/fronts.go
@@ -21,104 +21,104 @@
 type Listeners []*Listener
 
 // Open listens with n fronts, which together keep to the options.
-func Open(o Options, n int, core Dispatcher, hops Endpoints) (Listeners, error) {
-	if !o.Listen.IsValid() || o.Listen.Addr().IsUnspecified() {
-		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", o.Listen)
+func Open(options Options, count int, dispatcher Dispatcher, endpoints Endpoints) (Listeners, error) {
+	if !options.Listen.IsValid() || options.Listen.Addr().IsUnspecified() {
+		return nil, fmt.Errorf("udp: listen on %v: replies need one address to come from", options.Listen)
 	}
-	conns, err := openSockets(o.Listen, n)
+	conns, err := openSockets(options.Listen, count)
 	if err != nil {
 		return nil, fmt.Errorf("udp: %w", err)
 	}
-	var all Listeners
-	for i, conn := range conns {
-		f := newListener(o.share(n), conn, core, hops)
-		if n > 1 {
-			f.idPrefix = fmt.Sprintf("u%d.", i)
+	var listeners Listeners
+	for index, conn := range conns {
+		listener := newListener(options.share(count), conn, dispatcher, endpoints)
+		if count > 1 {
+			listener.idPrefix = fmt.Sprintf("u%d.", index)
 		}
-		f.sourcePorts = newSourcePorts(i, n)
-		all = append(all, f)
+		listener.sourcePorts = newSourcePorts(index, count)
+		listeners = append(listeners, listener)
 	}
-	return all, nil
+	return listeners, nil
 }
 
 // part is one front's part of n. Those that come from one source are dealt like all others.
-func (o Options) share(n int) Options {
-	share := func(x int) int { return max(1, (x+n-1)/n) }
-	o.Table.Entries, o.Sockets = share(o.Table.Entries), max(1, o.Sockets/n)
-	o.QueueBudget.Count, o.QueueBudget.Bytes = share(o.QueueBudget.Count), share(o.QueueBudget.Bytes)
-	o.Sources.Rate, o.Sources.Burst = o.Sources.Rate/float64(n), max(1, o.Sources.Burst/float64(n))
-	for _, p := range []*flowtable.Pacer{&o.NewFlows, &o.ReplacedFlows} {
-		p.Rate, p.Burst = p.Rate/float64(n), max(1, p.Burst/float64(n))
+func (options Options) share(parts int) Options {
+	portion := func(x int) int { return max(1, (x+parts-1)/parts) }
+	options.Table.Entries, options.Sockets = portion(options.Table.Entries), max(1, options.Sockets/parts)
+	options.QueueBudget.Count, options.QueueBudget.Bytes = portion(options.QueueBudget.Count), portion(options.QueueBudget.Bytes)
+	options.Sources.Rate, options.Sources.Burst = options.Sources.Rate/float64(parts), max(1, options.Sources.Burst/float64(parts))
+	for _, pacer := range []*flowtable.Pacer{&options.NewFlows, &options.ReplacedFlows} {
+		pacer.Rate, pacer.Burst = pacer.Rate/float64(parts), max(1, pacer.Burst/float64(parts))
 	}
-	return o
+	return options
 }
 
 // listen opens so many sockets at one address.
-func openSockets(at netip.AddrPort, n int) (conns []*net.UDPConn, err error) {
+func openSockets(address netip.AddrPort, count int) (conns []*net.UDPConn, err error) {
 	// One that shares with nobody at first: those that do share with any other process of
 	// this user's that does, and nobody would be told that the address is taken.
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, err
 	}
-	if n == 1 {
+	if count == 1 {
 		conns = append(conns, conn)
 	} else {
-		at = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
 		_ = conn.Close()
 	}
-	shares := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		if inner := raw.Control(func(fd uintptr) {
+	reusePort := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if controlErr := raw.Control(func(fd uintptr) {
 			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-		}); inner != nil {
-			return inner
+		}); controlErr != nil {
+			return controlErr
 		}
 		return err
 	}}
-	for len(conns) < n {
-		conn, err := shares.ListenPacket(context.Background(), "udp", at.String())
+	for len(conns) < count {
+		conn, err := reusePort.ListenPacket(context.Background(), "udp", address.String())
 		if err != nil {
-			for _, c := range conns {
-				_ = c.Close()
+			for _, opened := range conns {
+				_ = opened.Close()
 			}
 			return nil, err
 		}
 		conns = append(conns, conn.(*net.UDPConn))
 	}
-	for _, c := range conns {
-		_ = c.SetReadBuffer(4 << 20) // as much of it as the machine allows
+	for _, opened := range conns {
+		_ = opened.SetReadBuffer(4 << 20) // as much of it as the machine allows
 	}
 	return conns, nil
 }
 
 // Addr is where they listen.
-func (all Listeners) Addr() netip.AddrPort { return all[0].addr }
+func (listeners Listeners) Addr() netip.AddrPort { return listeners[0].addr }
 
 // Look is Front.Look for each.
-func (all Listeners) EndpointsChanged() {
-	for _, f := range all {
-		f.EndpointsChanged()
+func (listeners Listeners) EndpointsChanged() {
+	for _, listener := range listeners {
+		listener.EndpointsChanged()
 	}
 }
 
 // Serve serves all until ctx ends, and then logs what became of their datagrams.
-func (all Listeners) Serve(ctx context.Context) {
+func (listeners Listeners) Serve(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, f := range all {
-		wg.Go(func() { f.Serve(ctx) })
+	for _, listener := range listeners {
+		wg.Go(func() { listener.Serve(ctx) })
 	}
 	wg.Wait()
-	var sum Counts
+	var total Counts
 	waiting := 0
-	for _, f := range all {
-		waiting += f.options.QueueBudget.Count - f.queueBudget.Count
-		into := sum.named()
-		for i, c := range f.Counts.named() {
-			into[i].value.Add(c.value.Load())
+	for _, listener := range listeners {
+		waiting += listener.options.QueueBudget.Count - listener.queueBudget.Count
+		totals := total.named()
+		for i, c := range listener.Counts.named() {
+			totals[i].value.Add(c.value.Load())
 		}
 	}
 	values := []any{"waiting", waiting}
-	for _, c := range sum.named() {
+	for _, c := range total.named() {
 		values = append(values, c.name, c.value.Load())
 	}
 	slog.Info("udp ended", values...)
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -30,20 +30,20 @@
 
 // healthOf returns a next hop's, which is kept for as long as the list names it: what it
 // used to do counts when it has flows again.
-func (f *Listener) endpointHealth(server string, addr netip.AddrPort) *endpointHealth {
-	h := f.health[server]
+func (l *Listener) endpointHealth(endpointID string, address netip.AddrPort) *endpointHealth {
+	h := l.health[endpointID]
 	if h == nil {
-		h = &endpointHealth{endpointID: server}
-		f.health[server] = h
+		h = &endpointHealth{endpointID: endpointID}
+		l.health[endpointID] = h
 	}
-	if h.echoConn == nil && f.options.Echo != "" && f.options.Silence.After > 0 {
-		conn, err := f.sourcePorts.dial(addr)
+	if h.echoConn == nil && l.options.Echo != "" && l.options.Silence.After > 0 {
+		conn, err := l.sourcePorts.dial(address)
 		if err != nil {
-			f.warnings.Warn("udp: socket for echoes", "nexthop", server, "err", err)
+			l.warnings.Warn("udp: socket for echoes", "nexthop", endpointID, "err", err)
 			return h
 		}
 		h.echoConn = conn
-		f.wg.Go(func() { f.readEchoes(h, conn) })
+		l.wg.Go(func() { l.readEchoes(h, conn) })
 	}
 	return h
 }
@@ -56,63 +56,63 @@
 }
 
 // echoes notes what answers an echo, whatever it says.
-func (f *Listener) readEchoes(h *endpointHealth, conn *net.UDPConn) {
-	b := make([]byte, typicalDatagramSize)
+func (l *Listener) readEchoes(h *endpointHealth, conn *net.UDPConn) {
+	buffer := make([]byte, typicalDatagramSize)
 	for {
-		_, err := conn.Read(b)
+		_, err := conn.Read(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		f.mu.Lock()
+		l.mu.Lock()
 		if h.echoConn != conn {
-			f.mu.Unlock()
+			l.mu.Unlock()
 			return
 		}
 		h.echoAnswered = h.echoAnswered || err == nil
-		f.mu.Unlock()
+		l.mu.Unlock()
 	}
 }
 
 // leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
 // elsewhere with their next datagrams, at the pace.
-func (f *Listener) replaceSilent(now time.Time) {
-	if f.options.Silence.After <= 0 || now.Before(f.silenceCheckAt) {
+func (l *Listener) replaceSilent(now time.Time) {
+	if l.options.Silence.After <= 0 || now.Before(l.silenceCheckAt) {
 		return
 	}
-	f.silenceCheckAt = now.Add(silenceCheckInterval)
-	at := now.Sub(f.start)
-	for _, h := range f.health {
+	l.silenceCheckAt = now.Add(silenceCheckInterval)
+	elapsed := now.Sub(l.start)
+	for _, h := range l.health {
 		if h.boundFlows == 0 {
 			h.close() // it is asked while it has flows
 			h.echoSent = false
 			continue
 		}
-		f.probe(h, now)
-		if !h.evidence.IsSilent(at, f.options.Silence) || mutation.Enabled("silence") {
+		l.probe(h, now)
+		if !h.evidence.IsSilent(elapsed, l.options.Silence) || mutation.Enabled("silence") {
 			continue
 		}
-		n := f.replaceFlowsOf(h)
+		replaced := l.replaceFlowsOf(h)
 		h.evidence.FlowRemoved()
-		f.Counts.Silent.Add(int64(n))
-		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.endpointID, "flows", n)
+		l.Counts.Silent.Add(int64(replaced))
+		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.endpointID, "flows", replaced)
 	}
 }
 
 // inquire takes the latest word on a next hop, and asks for another.
-func (f *Listener) probe(h *endpointHealth, now time.Time) {
-	at := now.Sub(f.start)
+func (l *Listener) probe(h *endpointHealth, now time.Time) {
+	elapsed := now.Sub(l.start)
 	switch {
 	case h.echoConn == nil:
-		h.evidence.ProbeAnswered(at, f.endpoints.IsResponsive(h.endpointID))
+		h.evidence.ProbeAnswered(elapsed, l.endpoints.IsResponsive(h.endpointID))
 	case now.Before(h.nextEchoAt):
 		if h.echoAnswered {
-			h.evidence.ProbeAnswered(at, true)
+			h.evidence.ProbeAnswered(elapsed, true)
 		}
 	default:
 		if h.echoSent {
-			h.evidence.ProbeAnswered(at, h.echoAnswered)
+			h.evidence.ProbeAnswered(elapsed, h.echoAnswered)
 		}
 		h.echoSent, h.echoAnswered, h.nextEchoAt = true, false, now.Add(echoInterval)
-		_, _ = h.echoConn.Write([]byte(f.options.Echo)) // a refusal shows at the flows' sockets
+		_, _ = h.echoConn.Write([]byte(l.options.Echo)) // a refusal shows at the flows' sockets
 	}
 }
--- a/internal/udp/outlet.go
+++ b/internal/udp/outlet.go
@@ -40,213 +40,213 @@
 var errTooManySockets = errors.New("udp.sockets are used up")
 
 // outlet returns a socket for one more flow to a next hop.
-func (f *Listener) acquireSocket(server string) (out *upstreamSocket, made bool, err error) {
-	if out := f.sharedSockets[server]; out != nil { // only shared ones are there
-		out.boundFlows++
-		out.health.boundFlows++
-		return out, false, nil
+func (l *Listener) acquireSocket(endpointID string) (socket *upstreamSocket, opened bool, err error) {
+	if socket := l.sharedSockets[endpointID]; socket != nil { // only shared ones are there
+		socket.boundFlows++
+		socket.health.boundFlows++
+		return socket, false, nil
 	}
-	if f.openSockets >= f.options.Sockets {
+	if l.openSockets >= l.options.Sockets {
 		return nil, false, errTooManySockets
 	}
-	addr, err := netip.ParseAddrPort(f.endpoints.Address(server))
+	address, err := netip.ParseAddrPort(l.endpoints.Address(endpointID))
 	if err != nil {
-		return nil, false, fmt.Errorf("%s: %w", server, err)
+		return nil, false, fmt.Errorf("%s: %w", endpointID, err)
 	}
-	conn, err := f.sourcePorts.dial(addr)
+	conn, err := l.sourcePorts.dial(address)
 	if err != nil {
 		return nil, false, err
 	}
-	f.openSockets++
-	out = &upstreamSocket{endpointID: server, conn: conn, boundFlows: 1, health: f.endpointHealth(server, addr)}
-	out.health.boundFlows++
-	if f.options.SharedSockets {
+	l.openSockets++
+	socket = &upstreamSocket{endpointID: endpointID, conn: conn, boundFlows: 1, health: l.endpointHealth(endpointID, address)}
+	socket.health.boundFlows++
+	if l.options.SharedSockets {
 		_ = conn.SetWriteBuffer(4 << 20) // as much of it as the machine allows
 		_ = conn.SetReadBuffer(4 << 20)
-		out.packets = ipv4.NewPacketConn(conn)
-		f.sharedSockets[server] = out
+		socket.packets = ipv4.NewPacketConn(conn)
+		l.sharedSockets[endpointID] = socket
 	}
-	return out, true, nil
+	return socket, true, nil
 }
 
 // letGo ends one flow's use of a socket.
-func (f *Listener) releaseSocket(out *upstreamSocket) {
-	out.health.boundFlows--
-	if out.boundFlows--; out.boundFlows > 0 {
+func (l *Listener) releaseSocket(socket *upstreamSocket) {
+	socket.health.boundFlows--
+	if socket.boundFlows--; socket.boundFlows > 0 {
 		return
 	}
-	f.writePending(out) // what it still has is the flow's that goes
-	_ = out.conn.Close()
-	f.openSockets--
-	if f.sharedSockets[out.endpointID] == out {
-		delete(f.sharedSockets, out.endpointID)
+	l.writePending(socket) // what it still has is the flow's that goes
+	_ = socket.conn.Close()
+	l.openSockets--
+	if l.sharedSockets[socket.endpointID] == socket {
+		delete(l.sharedSockets, socket.endpointID)
 	}
 }
 
 // maySend looks whether a flow's next hop may still be sent to: for one socket once in
 // each batch, which is read and written within the same moment.
-func (f *Listener) canSend(x *placement, now time.Time) bool {
-	out := x.socket
-	if !f.options.SharedSockets {
-		return f.endpoints.CanSend(x.endpointID, now)
+func (l *Listener) canSend(target *placement, now time.Time) bool {
+	socket := target.socket
+	if !l.options.SharedSockets {
+		return l.endpoints.CanSend(target.endpointID, now)
 	}
-	if out.canSendAt != now {
-		out.canSendAt, out.canSend = now, f.endpoints.CanSend(x.endpointID, now)
+	if socket.canSendAt != now {
+		socket.canSendAt, socket.canSend = now, l.endpoints.CanSend(target.endpointID, now)
 	}
-	return out.canSend
+	return socket.canSend
 }
 
 // send writes one datagram to a flow's next hop, under the lock: a drain that is
 // told meanwhile is seen by the next look at MaySend, before the next write. Over a
 // shared socket it goes with the batch, which is flushed under the same lock.
-func (f *Listener) send(p *binding, x *placement, d []byte) {
-	x.socket.health.evidence.Sent(f.batchTime)
-	if !f.options.SharedSockets {
-		if f.options.ProxyHeader {
-			d = append(appendProxyHeader(make([]byte, 0, maxProxyHeaderLen+len(d)), p.client, f.addr, flowtable.Ref{}), d...)
+func (l *Listener) send(flow *binding, target *placement, datagram []byte) {
+	target.socket.health.evidence.Sent(l.batchTime)
+	if !l.options.SharedSockets {
+		if l.options.ProxyHeader {
+			datagram = append(appendProxyHeader(make([]byte, 0, maxProxyHeaderLen+len(datagram)), flow.client, l.addr, flowtable.Ref{}), datagram...)
 		}
-		if _, err := x.socket.conn.Write(d); err != nil {
-			f.Counts.Unsent.Add(1)
+		if _, err := target.socket.conn.Write(datagram); err != nil {
+			l.Counts.Unsent.Add(1)
 			if isRefused(err) {
-				f.replacePlacement(x, balance.Reset)
+				l.replacePlacement(target, balance.Reset)
 			}
 			return // too large, or no buffers: that datagram alone is lost
 		}
-		f.Counts.Forwarded.Add(1)
+		l.Counts.Forwarded.Add(1)
 		return
 	}
-	out := x.socket
-	n := len(out.pending)
-	if n < cap(out.pending) {
-		out.pending = out.pending[:n+1]
+	socket := target.socket
+	index := len(socket.pending)
+	if index < cap(socket.pending) {
+		socket.pending = socket.pending[:index+1]
 	} else {
-		out.pending = append(out.pending, ipv4.Message{Buffers: make([][]byte, 0, 2)})
+		socket.pending = append(socket.pending, ipv4.Message{Buffers: make([][]byte, 0, 2)})
 	}
-	m := &out.pending[n]
-	m.Buffers = m.Buffers[:0]
-	if f.options.ProxyHeader {
-		if n == len(out.headers) {
-			out.headers = append(out.headers, [maxProxyHeaderLen]byte{})
+	message := &socket.pending[index]
+	message.Buffers = message.Buffers[:0]
+	if l.options.ProxyHeader {
+		if index == len(socket.headers) {
+			socket.headers = append(socket.headers, [maxProxyHeaderLen]byte{})
 		}
-		m.Buffers = append(m.Buffers, appendProxyHeader(out.headers[n][:0], p.client, f.addr, x.ref))
+		message.Buffers = append(message.Buffers, appendProxyHeader(socket.headers[index][:0], flow.client, l.addr, target.ref))
 	}
-	m.Buffers = append(m.Buffers, d)
-	if !out.flushPending {
-		out.flushPending = true
-		f.unflushed = append(f.unflushed, out)
+	message.Buffers = append(message.Buffers, datagram)
+	if !socket.flushPending {
+		socket.flushPending = true
+		l.unflushed = append(l.unflushed, socket)
 	}
-	if n+1 == batchSize {
-		f.writePending(out)
+	if index+1 == batchSize {
+		l.writePending(socket)
 	}
 }
 
 // flush writes what the sockets have.
-func (f *Listener) flush() {
-	due := f.unflushed
-	f.unflushed = f.unflushed[:0]
-	for _, out := range due {
-		out.flushPending = false
-		f.writePending(out)
+func (l *Listener) flush() {
+	unflushed := l.unflushed
+	l.unflushed = l.unflushed[:0]
+	for _, socket := range unflushed {
+		socket.flushPending = false
+		l.writePending(socket)
 	}
 }
 
 // write writes what one socket has. A refusal is its next hop's: all flows there let it go.
-func (f *Listener) writePending(out *upstreamSocket) {
-	list := out.pending
-	if len(list) == 0 {
+func (l *Listener) writePending(socket *upstreamSocket) {
+	pending := socket.pending
+	if len(pending) == 0 {
 		return
 	}
-	out.pending = out.pending[:0]
-	if now := time.Now(); now.Add(writeTimeout).After(out.writeDeadline) {
-		out.writeDeadline = now.Add(2 * writeTimeout) // not for each batch: it costs as much as a datagram
-		_ = out.conn.SetWriteDeadline(out.writeDeadline)
+	socket.pending = socket.pending[:0]
+	if now := time.Now(); now.Add(writeTimeout).After(socket.writeDeadline) {
+		socket.writeDeadline = now.Add(2 * writeTimeout) // not for each batch: it costs as much as a datagram
+		_ = socket.conn.SetWriteDeadline(socket.writeDeadline)
 	}
 	refused := false
-	messages := out.segmenter.join(list)
-	for at := 0; at < len(messages); {
-		n, err := out.packets.WriteBatch(messages[at:], 0)
-		for n = max(n, 0); n > 0; n-- {
-			f.Counts.Forwarded.Add(int64(out.segmenter.datagramsIn(at)))
-			at++
+	messages := socket.segmenter.join(pending)
+	for next := 0; next < len(messages); {
+		written, err := socket.packets.WriteBatch(messages[next:], 0)
+		for written = max(written, 0); written > 0; written-- {
+			l.Counts.Forwarded.Add(int64(socket.segmenter.datagramsIn(next)))
+			next++
 		}
 		switch {
-		case err == nil || at == len(messages):
+		case err == nil || next == len(messages):
 		case isRefused(err):
 			refused = true // of something before: this one may still go, but to nobody
 			fallthrough
-		case out.segmenter.datagramsIn(at) == 1: // too large, or no buffers: that datagram alone is lost
-			f.Counts.Unsent.Add(int64(out.segmenter.datagramsIn(at)))
-			at++
+		case socket.segmenter.datagramsIn(next) == 1: // too large, or no buffers: that datagram alone is lost
+			l.Counts.Unsent.Add(int64(socket.segmenter.datagramsIn(next)))
+			next++
 		default: // the way there can't cut runs, it seems
-			messages, at = out.segmenter.splitFrom(at), 0
+			messages, next = socket.segmenter.splitFrom(next), 0
 		}
 	}
 	if refused {
-		f.connectionRefused(out)
+		l.connectionRefused(socket)
 	}
 }
 
 // refused lets all flows of a next hop go whose port nobody has.
-func (f *Listener) connectionRefused(out *upstreamSocket) {
-	f.replaceFlowsOf(out.health)
+func (l *Listener) connectionRefused(socket *upstreamSocket) {
+	l.replaceFlowsOf(socket.health)
 }
 
 // lose lets all flows of a next hop go, and returns how many there were.
-func (f *Listener) replaceFlowsOf(h *endpointHealth) (n int) {
-	for i := range f.bindings {
-		if x := f.bindings[i].placement; x != nil && x.socket != nil && x.socket.health == h {
-			f.replacePlacement(x, balance.Reset)
-			n++
+func (l *Listener) replaceFlowsOf(health *endpointHealth) (replaced int) {
+	for i := range l.bindings {
+		if current := l.bindings[i].placement; current != nil && current.socket != nil && current.socket.health == health {
+			l.replacePlacement(current, balance.Reset)
+			replaced++
 		}
 	}
-	return n
+	return replaced
 }
 
 // sharedReplies passes on what a next hop answers over a shared socket, each to the client
 // that its header names, if that one's flow stands there.
-func (f *Listener) relaySharedReplies(out *upstreamSocket) {
+func (l *Listener) relaySharedReplies(socket *upstreamSocket) {
 	messages := make([]ipv4.Message, batchSize)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, typicalDatagramSize)}
 	}
-	back := make([]ipv4.Message, 0, batchSize)
+	replies := make([]ipv4.Message, 0, batchSize)
 	for {
-		n, err := out.packets.ReadBatch(messages, 0)
+		n, err := socket.packets.ReadBatch(messages, 0)
 		if err != nil {
-			f.mu.Lock()
+			l.mu.Lock()
 			if isRefused(err) {
-				f.connectionRefused(out)
+				l.connectionRefused(socket)
 			}
-			gone := out.boundFlows == 0
-			f.mu.Unlock()
-			if gone || errors.Is(err, net.ErrClosed) {
+			unused := socket.boundFlows == 0
+			l.mu.Unlock()
+			if unused || errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
 		}
-		back = back[:0]
-		f.mu.Lock()
-		at := f.elapsed()
+		replies = replies[:0]
+		l.mu.Lock()
+		elapsed := l.elapsed()
 		for i := range messages[:n] {
-			m := &messages[i]
-			if m.Flags&truncatedFlag != 0 && len(m.Buffers[0]) < maxDatagramSize {
-				m.Buffers[0] = make([]byte, maxDatagramSize) // this one is lost, the next is not
-				f.Counts.UnmatchedReplies.Add(1)
+			message := &messages[i]
+			if message.Flags&truncatedFlag != 0 && len(message.Buffers[0]) < maxDatagramSize {
+				message.Buffers[0] = make([]byte, maxDatagramSize) // this one is lost, the next is not
+				l.Counts.UnmatchedReplies.Add(1)
 				continue
 			}
-			if client, text, ok := f.matchReply(out, m.Buffers[0][:m.N], at); ok {
-				back = append(back, ipv4.Message{Buffers: [][]byte{text}, Addr: net.UDPAddrFromAddrPort(client)})
+			if client, payload, ok := l.matchReply(socket, message.Buffers[0][:message.N], elapsed); ok {
+				replies = append(replies, ipv4.Message{Buffers: [][]byte{payload}, Addr: net.UDPAddrFromAddrPort(client)})
 			} else {
-				f.Counts.UnmatchedReplies.Add(1)
+				l.Counts.UnmatchedReplies.Add(1)
 			}
 		}
-		f.mu.Unlock()
-		for list := back; len(list) > 0; {
-			n, err := f.packets.WriteBatch(list, 0)
-			f.Counts.Replies.Add(int64(max(n, 0)))
-			list = list[max(n, 0):]
-			if err != nil && len(list) > 0 {
-				list = list[1:]
+		l.mu.Unlock()
+		for unsent := replies; len(unsent) > 0; {
+			n, err := l.packets.WriteBatch(unsent, 0)
+			l.Counts.Replies.Add(int64(max(n, 0)))
+			unsent = unsent[max(n, 0):]
+			if err != nil && len(unsent) > 0 {
+				unsent = unsent[1:]
 			}
 		}
 	}
@@ -255,24 +255,24 @@
 // whose tells the client that a reply is for. The flow whose mark it repeats must still
 // have its place, and stand at the next hop that answers: another client may have that place,
 // or the same address, by now.
-func (f *Listener) matchReply(out *upstreamSocket, d []byte, at time.Duration) (client netip.AddrPort, text []byte, ok bool) {
-	if !f.options.ProxyHeader {
-		out.health.evidence.Received()
+func (l *Listener) matchReply(socket *upstreamSocket, datagram []byte, elapsed time.Duration) (client netip.AddrPort, payload []byte, ok bool) {
+	if !l.options.ProxyHeader {
+		socket.health.evidence.Received()
 		return client, nil, false
 	}
-	client, _, r, text, err := parseProxyHeader(d)
+	client, _, ref, payload, err := parseProxyHeader(datagram)
 	switch {
 	case err != nil:
 		return client, nil, false
 	case mutation.Enabled("stale"):
-		return client, text, true
-	case !f.table.IsValid(r):
+		return client, payload, true
+	case !l.table.IsValid(ref):
 		return client, nil, false
 	}
-	if p := &f.bindings[r.Index]; p.placement == nil || p.placement.socket != out {
+	if flow := &l.bindings[ref.Index]; flow.placement == nil || flow.placement.socket != socket {
 		return client, nil, false
 	}
-	out.health.evidence.Received() // not by what is stray: that may have been on its way for long
-	f.table.Touch(r, at)
-	return f.bindings[r.Index].client, text, true
+	socket.health.evidence.Received() // not by what is stray: that may have been on its way for long
+	l.table.Touch(ref, elapsed)
+	return l.bindings[ref.Index].client, payload, true
 }
--- a/internal/udp/ports.go
+++ b/internal/udp/ports.go
@@ -17,17 +17,17 @@
 type sourcePorts struct{ first, count, next int }
 
 // newPorts takes one of n parts of the machine's range for such ports.
-func newSourcePorts(part, n int) sourcePorts {
-	p := sourcePorts{first: 32768, count: 28232}
+func newSourcePorts(part, parts int) sourcePorts {
+	ports := sourcePorts{first: 32768, count: 28232}
 	var first, last int
 	if raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
-		if n, _ := fmt.Sscan(string(raw), &first, &last); n == 2 && first > 0 && first <= last && last < 1<<16 {
-			p.first, p.count = first, last-first+1
+		if parts, _ := fmt.Sscan(string(raw), &first, &last); parts == 2 && first > 0 && first <= last && last < 1<<16 {
+			ports.first, ports.count = first, last-first+1
 		}
 	}
-	p.first, p.count = p.first+p.count*part/n, max(1, p.count/n)
-	p.next = rand.IntN(p.count)
-	return p
+	ports.first, ports.count = ports.first+ports.count*part/parts, max(1, ports.count/parts)
+	ports.next = rand.IntN(ports.count)
+	return ports
 }
 
 // tries bounds how many ports in a row may be somebody else's.
--- a/internal/udp/proxy.go
+++ b/internal/udp/proxy.go
@@ -29,65 +29,65 @@
 
 // appendProxy appends the header for a datagram from src to dst, with the flow's mark if
 // it has one.
-func appendProxyHeader(b []byte, src, dst netip.AddrPort, r flowtable.Ref) []byte {
-	extra := 0
-	if r.Gen != 0 {
-		extra = flowRefTLVLen
+func appendProxyHeader(b []byte, source, destination netip.AddrPort, ref flowtable.Ref) []byte {
+	tlvLen := 0
+	if ref.Gen != 0 {
+		tlvLen = flowRefTLVLen
 	}
 	b = append(b, proxySignature...)
-	from, to := src.Addr().Unmap(), dst.Addr().Unmap()
+	from, to := source.Addr().Unmap(), destination.Addr().Unmap()
 	if from.Is4() && to.Is4() {
-		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv4), uint16(12+extra))
+		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv4), uint16(12+tlvLen))
 		f, t := from.As4(), to.As4()
 		b = append(append(b, f[:]...), t[:]...)
 	} else {
-		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv6), uint16(36+extra))
-		f, t := src.Addr().As16(), dst.Addr().As16()
+		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv6), uint16(36+tlvLen))
+		f, t := source.Addr().As16(), destination.Addr().As16()
 		b = append(append(b, f[:]...), t[:]...)
 	}
-	b = binary.BigEndian.AppendUint16(b, src.Port())
-	b = binary.BigEndian.AppendUint16(b, dst.Port())
-	if extra > 0 {
+	b = binary.BigEndian.AppendUint16(b, source.Port())
+	b = binary.BigEndian.AppendUint16(b, destination.Port())
+	if tlvLen > 0 {
 		b = append(b, tlvFlowRef, 0, 8)
-		b = binary.BigEndian.AppendUint32(b, uint32(r.Index))
-		b = binary.BigEndian.AppendUint32(b, r.Gen)
+		b = binary.BigEndian.AppendUint32(b, uint32(ref.Index))
+		b = binary.BigEndian.AppendUint32(b, ref.Gen)
 	}
 	return b
 }
 
 // cutProxy reads a header and returns what follows it, and the flow's mark, with which Gen
 // is not 0. Other values behind the addresses are passed over.
-func parseProxyHeader(b []byte) (src, dst netip.AddrPort, r flowtable.Ref, rest []byte, err error) {
+func parseProxyHeader(b []byte) (source, destination netip.AddrPort, ref flowtable.Ref, rest []byte, err error) {
 	if len(b) < proxyFixedLen || string(b[:len(proxySignature)]) != proxySignature || b[12] != proxyVersionCommand {
-		return src, dst, r, nil, errProxyHeader
+		return source, destination, ref, nil, errProxyHeader
 	}
-	n := int(binary.BigEndian.Uint16(b[14:]))
+	length := int(binary.BigEndian.Uint16(b[14:]))
 	body := b[proxyFixedLen:]
-	if n > len(body) {
-		return src, dst, r, nil, errProxyHeader
+	if length > len(body) {
+		return source, destination, ref, nil, errProxyHeader
 	}
-	body, rest = body[:n], body[n:]
+	body, rest = body[:length], body[length:]
 	switch {
-	case b[13] == proxyUDPv4 && n >= 12:
-		src = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body)), binary.BigEndian.Uint16(body[8:]))
-		dst = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body[4:])), binary.BigEndian.Uint16(body[10:]))
+	case b[13] == proxyUDPv4 && length >= 12:
+		source = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body)), binary.BigEndian.Uint16(body[8:]))
+		destination = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body[4:])), binary.BigEndian.Uint16(body[10:]))
 		body = body[12:]
-	case b[13] == proxyUDPv6 && n >= 36:
-		src = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body)), binary.BigEndian.Uint16(body[32:]))
-		dst = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body[16:])), binary.BigEndian.Uint16(body[34:]))
+	case b[13] == proxyUDPv6 && length >= 36:
+		source = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body)), binary.BigEndian.Uint16(body[32:]))
+		destination = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body[16:])), binary.BigEndian.Uint16(body[34:]))
 		body = body[36:]
 	default:
-		return src, dst, r, nil, errProxyHeader
+		return source, destination, ref, nil, errProxyHeader
 	}
 	for len(body) >= 3 {
 		kind, size := body[0], int(binary.BigEndian.Uint16(body[1:]))
 		if size > len(body)-3 {
-			return src, dst, flowtable.Ref{}, nil, errProxyHeader
+			return source, destination, flowtable.Ref{}, nil, errProxyHeader
 		}
 		if kind == tlvFlowRef && size == 8 {
-			r = flowtable.Ref{Index: int32(binary.BigEndian.Uint32(body[3:])), Gen: binary.BigEndian.Uint32(body[7:])}
+			ref = flowtable.Ref{Index: int32(binary.BigEndian.Uint32(body[3:])), Gen: binary.BigEndian.Uint32(body[7:])}
 		}
 		body = body[3+size:]
 	}
-	return src, dst, r, rest, nil
+	return source, destination, ref, rest, nil
 }
--- a/internal/udp/runs.go
+++ b/internal/udp/runs.go
@@ -32,43 +32,43 @@
 var segmentControlLen = unix.CmsgSpace(2)
 
 // join returns a batch with its runs joined. It is good until the next call.
-func (r *segmenter) join(list []ipv4.Message) []ipv4.Message {
-	r.datagrams, r.starts, r.messages, r.buffers = list, r.starts[:0], r.messages[:0], r.buffers[:0]
+func (r *segmenter) join(datagrams []ipv4.Message) []ipv4.Message {
+	r.datagrams, r.starts, r.messages, r.buffers = datagrams, r.starts[:0], r.messages[:0], r.buffers[:0]
 	if r.control == nil {
 		r.control = make([]byte, batchSize*segmentControlLen)
 	}
-	for i := 0; i < len(list); {
-		at, n := len(r.buffers), r.runLength(list[i:])
+	for i := 0; i < len(datagrams); {
+		firstBuffer, count := len(r.buffers), r.runLength(datagrams[i:])
 		r.starts = append(r.starts, i)
-		for _, m := range list[i : i+n] {
+		for _, m := range datagrams[i : i+count] {
 			r.buffers = append(r.buffers, m.Buffers...)
 		}
-		m := ipv4.Message{Buffers: r.buffers[at:len(r.buffers):len(r.buffers)]}
-		if n > 1 {
-			m.OOB = segmentControl(r.control[len(r.messages)*segmentControlLen:][:segmentControlLen], messageSize(&list[i]))
+		m := ipv4.Message{Buffers: r.buffers[firstBuffer:len(r.buffers):len(r.buffers)]}
+		if count > 1 {
+			m.OOB = segmentControl(r.control[len(r.messages)*segmentControlLen:][:segmentControlLen], messageSize(&datagrams[i]))
 		}
 		r.messages = append(r.messages, m)
-		i += n
+		i += count
 	}
 	return r.messages
 }
 
 // run is how many datagrams at the begin of a list go into one message.
-func (r *segmenter) runLength(list []ipv4.Message) (n int) {
-	first := messageSize(&list[0])
+func (r *segmenter) runLength(datagrams []ipv4.Message) (count int) {
+	first := messageSize(&datagrams[0])
 	if r.disabled || first == 0 || first > maxSegmentSize {
 		return 1
 	}
-	for n = 1; n < min(len(list), maxSegments) && (n+1)*first <= maxSegmentedBytes; n++ {
-		switch next := messageSize(&list[n]); {
+	for count = 1; count < min(len(datagrams), maxSegments) && (count+1)*first <= maxSegmentedBytes; count++ {
+		switch next := messageSize(&datagrams[count]); {
 		case next == first:
 		case next > 0 && next < first:
-			return n + 1 // a shorter one ends it
+			return count + 1 // a shorter one ends it
 		default:
-			return n
+			return count
 		}
 	}
-	return n
+	return count
 }
 
 // length is how many datagrams are in one of the messages.
@@ -87,18 +87,18 @@
 }
 
 // size is how long a message is.
-func messageSize(m *ipv4.Message) (n int) {
-	for _, b := range m.Buffers {
-		n += len(b)
+func messageSize(message *ipv4.Message) (total int) {
+	for _, b := range message.Buffers {
+		total += len(b)
 	}
-	return n
+	return total
 }
 
 // segment writes the control message that has the kernel cut a message.
-func segmentControl(c []byte, size int) []byte {
-	head := (*unix.Cmsghdr)(unsafe.Pointer(&c[0]))
+func segmentControl(control []byte, size int) []byte {
+	head := (*unix.Cmsghdr)(unsafe.Pointer(&control[0]))
 	head.Level, head.Type = unix.IPPROTO_UDP, unix.UDP_SEGMENT
 	head.SetLen(unix.CmsgLen(2))
-	binary.NativeEndian.PutUint16(c[unix.CmsgLen(0):], uint16(size))
-	return c
+	binary.NativeEndian.PutUint16(control[unix.CmsgLen(0):], uint16(size))
+	return control
 }
--- a/internal/udp/udp.go
+++ b/internal/udp/udp.go
@@ -143,221 +143,221 @@
 
 // newFront returns one that takes what comes by conn. Serve has to be called for anything
 // to happen.
-func newListener(o Options, conn *net.UDPConn, core Dispatcher, hops Endpoints) *Listener {
-	if o.Table.Seed == (maphash.Seed{}) {
-		o.Table.Seed, o.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
+func newListener(options Options, conn *net.UDPConn, dispatcher Dispatcher, endpoints Endpoints) *Listener {
+	if options.Table.Seed == (maphash.Seed{}) {
+		options.Table.Seed, options.Sources.Seed = maphash.MakeSeed(), maphash.MakeSeed()
 	}
-	return &Listener{options: o, dispatcher: core, endpoints: hops, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
-		start: time.Now(), idPrefix: "u", table: flowtable.NewTable(o.Table), sources: flowtable.NewSources(o.Sources), queueBudget: o.QueueBudget, newFlows: o.NewFlows, replacedFlows: o.ReplacedFlows,
-		bindings: make([]binding, o.Table.Entries), sharedSockets: map[string]*upstreamSocket{}, health: map[string]*endpointHealth{}, outboxReady: make(chan struct{}, 1)}
+	return &Listener{options: options, dispatcher: dispatcher, endpoints: endpoints, conn: conn, addr: conn.LocalAddr().(*net.UDPAddr).AddrPort(), packets: ipv4.NewPacketConn(conn),
+		start: time.Now(), idPrefix: "u", table: flowtable.NewTable(options.Table), sources: flowtable.NewSources(options.Sources), queueBudget: options.QueueBudget, newFlows: options.NewFlows, replacedFlows: options.ReplacedFlows,
+		bindings: make([]binding, options.Table.Entries), sharedSockets: map[string]*upstreamSocket{}, health: map[string]*endpointHealth{}, outboxReady: make(chan struct{}, 1)}
 }
 
 // Addr is where it listens.
-func (f *Listener) Addr() netip.AddrPort { return f.addr }
+func (l *Listener) Addr() netip.AddrPort { return l.addr }
 
 // Len is how many flows are known and how many have a socket.
-func (f *Listener) Len() (known, placed int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known, _ = f.table.Len()
-	return known, f.boundFlows
+func (l *Listener) Len() (known, placed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, _ = l.table.Len()
+	return known, l.boundFlows
 }
 
 // Serve forwards until ctx ends; then it lets all flows go and closes its sockets.
-func (f *Listener) Serve(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = f.conn.Close() })
+func (l *Listener) Serve(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stop()
-	over := make(chan struct{})
-	var teller sync.WaitGroup
-	teller.Go(func() { f.runOutbox(over) })
-	defer teller.Wait()
-	defer close(over)
-	f.wg.Go(func() { f.maintain(ctx) })
-	f.readDatagrams(ctx)
-	f.mu.Lock()
-	f.closed = true
-	for i := range f.bindings {
-		if x := f.bindings[i].placement; x != nil {
-			f.endPlacement(x, balance.Cancelled)
+	readingEnded := make(chan struct{})
+	var outbox sync.WaitGroup
+	outbox.Go(func() { l.runOutbox(readingEnded) })
+	defer outbox.Wait()
+	defer close(readingEnded)
+	l.wg.Go(func() { l.maintain(ctx) })
+	l.readDatagrams(ctx)
+	l.mu.Lock()
+	l.closed = true
+	for i := range l.bindings {
+		if current := l.bindings[i].placement; current != nil {
+			l.endPlacement(current, balance.Cancelled)
 		}
 	}
-	for _, h := range f.health {
-		h.close()
+	for _, health := range l.health {
+		health.close()
 	}
-	f.mu.Unlock()
-	f.wg.Wait()
+	l.mu.Unlock()
+	l.wg.Wait()
 }
 
 // say has the Core told, under the lock and without waiting: the Core may itself be
 // waiting for the lock, to answer a flow.
-func (f *Listener) notify(news func()) {
-	f.outbox = append(f.outbox, news)
+func (l *Listener) notify(event func()) {
+	l.outbox = append(l.outbox, event)
 	select {
-	case f.outboxReady <- struct{}{}:
+	case l.outboxReady <- struct{}{}:
 	default:
 	}
 }
 
 // tell tells the Core, until over is closed and all has been told.
-func (f *Listener) runOutbox(over <-chan struct{}) {
-	for ended := false; !ended; {
+func (l *Listener) runOutbox(stop <-chan struct{}) {
+	for stopped := false; !stopped; {
 		select {
-		case <-f.outboxReady:
-		case <-over:
-			ended = true
+		case <-l.outboxReady:
+		case <-stop:
+			stopped = true
 		}
-		f.mu.Lock()
-		list := f.outbox
-		f.outbox = nil
-		f.mu.Unlock()
-		for _, news := range list {
-			news()
+		l.mu.Lock()
+		events := l.outbox
+		l.outbox = nil
+		l.mu.Unlock()
+		for _, event := range events {
+			event()
 		}
 	}
 }
 
-func (f *Listener) elapsed() time.Duration { return time.Since(f.start) }
+func (l *Listener) elapsed() time.Duration { return time.Since(l.start) }
 
 // read takes datagrams in batches.
-func (f *Listener) readDatagrams(ctx context.Context) {
+func (l *Listener) readDatagrams(ctx context.Context) {
 	messages := make([]ipv4.Message, batchSize)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, maxDatagramSize)}
 	}
 	for {
-		n, err := f.packets.ReadBatch(messages, 0)
+		n, err := l.packets.ReadBatch(messages, 0)
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			f.warnings.Warn("udp: read", "err", err)
+			l.warnings.Warn("udp: read", "err", err)
 			time.Sleep(time.Millisecond)
 			continue
 		}
 		now := time.Now()
-		f.mu.Lock()
-		f.batchTime = now.Sub(f.start)
+		l.mu.Lock()
+		l.batchTime = now.Sub(l.start)
 		for i := range messages[:n] {
-			m := &messages[i]
-			if from, ok := m.Addr.(*net.UDPAddr); ok {
-				f.handleDatagram(from.AddrPort(), m.Buffers[0][:m.N], now)
+			message := &messages[i]
+			if source, ok := message.Addr.(*net.UDPAddr); ok {
+				l.handleDatagram(source.AddrPort(), message.Buffers[0][:message.N], now)
 			}
 		}
-		f.flush()
-		f.mu.Unlock()
+		l.flush()
+		l.mu.Unlock()
 	}
 }
 
 // take is called under the lock for each datagram.
-func (f *Listener) handleDatagram(from netip.AddrPort, d []byte, now time.Time) {
-	f.Counts.In.Add(1)
-	k := flowtable.Key{Addr: from.Addr().As16(), Port: from.Port()}
-	at := now.Sub(f.start)
-	r, ok := f.table.Lookup(k)
-	if ok {
-		f.table.Touch(r, at)
+func (l *Listener) handleDatagram(source netip.AddrPort, datagram []byte, now time.Time) {
+	l.Counts.In.Add(1)
+	key := flowtable.Key{Addr: source.Addr().As16(), Port: source.Port()}
+	elapsed := now.Sub(l.start)
+	ref, known := l.table.Lookup(key)
+	if known {
+		l.table.Touch(ref, elapsed)
 	} else {
-		if !f.sources.Allow(k, at) && !mutation.Enabled("source") {
-			f.Counts.Limited.Add(1)
+		if !l.sources.Allow(key, elapsed) && !mutation.Enabled("source") {
+			l.Counts.Limited.Add(1)
 			return
 		}
-		var v flowtable.Verdict
-		if r, v = f.table.Admit(k, at, func(old flowtable.Ref) {
-			f.Counts.Evicted.Add(1)
-			f.forgetFlow(old)
-		}); v != flowtable.Admitted {
-			f.Counts.Full.Add(1)
+		var verdict flowtable.Verdict
+		if ref, verdict = l.table.Admit(key, elapsed, func(evicted flowtable.Ref) {
+			l.Counts.Evicted.Add(1)
+			l.forgetFlow(evicted)
+		}); verdict != flowtable.Admitted {
+			l.Counts.Full.Add(1)
 			return
 		}
-		f.Counts.Opened.Add(1)
-		f.bindings[r.Index] = binding{client: from, awaitsPlacement: true}
-		f.newFlows.Add(r, f.needsPlacement)
-		f.placeQueued(now)
+		l.Counts.Opened.Add(1)
+		l.bindings[ref.Index] = binding{client: source, awaitsPlacement: true}
+		l.newFlows.Add(ref, l.needsPlacement)
+		l.placeQueued(now)
 	}
-	p := &f.bindings[r.Index]
-	if x := p.placement; x != nil && x.socket != nil {
-		if f.canSend(x, now) {
-			f.send(p, x, d)
+	flow := &l.bindings[ref.Index]
+	if current := flow.placement; current != nil && current.socket != nil {
+		if l.canSend(current, now) {
+			l.send(flow, current, datagram)
 			return
 		}
-		f.replacePlacement(x, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
+		l.replacePlacement(current, balance.Cancelled) // it drains: the flow goes elsewhere, and this datagram with it
 	}
-	if p.placement == nil && !p.awaitsPlacement {
-		p.awaitsPlacement = true
-		f.replacedFlows.Add(r, f.needsPlacement)
-		f.placeQueued(now)
+	if flow.placement == nil && !flow.awaitsPlacement {
+		flow.awaitsPlacement = true
+		l.replacedFlows.Add(ref, l.needsPlacement)
+		l.placeQueued(now)
 	}
-	p.queue.Put(append([]byte(nil), d...), f.options.FlowQueue, &f.queueBudget, func([]byte) { f.Counts.Queue.Add(1) })
+	flow.queue.Put(append([]byte(nil), datagram...), l.options.FlowQueue, &l.queueBudget, func([]byte) { l.Counts.Queue.Add(1) })
 }
 
 // ask has the module place a flow.
-func (f *Listener) requestPlacement(r flowtable.Ref, now time.Time) {
-	p := &f.bindings[r.Index]
-	f.lastID++
-	k := p.client.Addr().String()
-	x := &placement{listener: f, ref: r, Request: dispatch.Request{ID: f.idPrefix + strconv.FormatUint(f.lastID, 36), Class: f.options.Class, Key: k,
-		Deadline: now.Add(f.options.Deadline)}}
-	p.placement = x
-	f.notify(func() { f.dispatcher.Submit(x, f) })
+func (l *Listener) requestPlacement(ref flowtable.Ref, now time.Time) {
+	flow := &l.bindings[ref.Index]
+	l.lastID++
+	affinityKey := flow.client.Addr().String()
+	requested := &placement{listener: l, ref: ref, Request: dispatch.Request{ID: l.idPrefix + strconv.FormatUint(l.lastID, 36), Class: l.options.Class, Key: affinityKey,
+		Deadline: now.Add(l.options.Deadline)}}
+	flow.placement = requested
+	l.notify(func() { l.dispatcher.Submit(requested, l) })
 }
 
 // replace ends a flow's placement. It is placed again when it next sends and its turn
 // has come: of the flows of a server that is lost, most may have nothing more to say.
-func (f *Listener) replacePlacement(x *placement, outcome balance.Outcome) {
-	f.endPlacement(x, outcome)
-	f.Counts.Replaced.Add(1)
+func (l *Listener) replacePlacement(replaced *placement, outcome balance.Outcome) {
+	l.endPlacement(replaced, outcome)
+	l.Counts.Replaced.Add(1)
 }
 
 // wants tells whether a flow in line still has to be placed.
-func (f *Listener) needsPlacement(r flowtable.Ref) bool {
-	return f.table.IsValid(r) && f.bindings[r.Index].placement == nil
+func (l *Listener) needsPlacement(ref flowtable.Ref) bool {
+	return l.table.IsValid(ref) && l.bindings[ref.Index].placement == nil
 }
 
 // placeInLine asks for those whose turn it is.
-func (f *Listener) placeQueued(now time.Time) {
-	for _, line := range []*flowtable.Pacer{&f.replacedFlows, &f.newFlows} {
+func (l *Listener) placeQueued(now time.Time) {
+	for _, pacer := range []*flowtable.Pacer{&l.replacedFlows, &l.newFlows} {
 		for {
-			r, ok, _ := line.Next(now.Sub(f.start), f.needsPlacement)
+			ref, ok, _ := pacer.Next(now.Sub(l.start), l.needsPlacement)
 			if !ok {
 				break
 			}
-			f.bindings[r.Index].awaitsPlacement = false
-			f.requestPlacement(r, now)
+			l.bindings[ref.Index].awaitsPlacement = false
+			l.requestPlacement(ref, now)
 		}
 	}
 }
 
 // end ends a placement, whatever its state.
-func (f *Listener) endPlacement(x *placement, outcome balance.Outcome) {
-	if x.ended {
+func (l *Listener) endPlacement(ending *placement, outcome balance.Outcome) {
+	if ending.ended {
 		return
 	}
-	x.ended = true
-	if f.bindings[x.ref.Index].placement == x {
-		f.bindings[x.ref.Index].placement = nil
+	ending.ended = true
+	if l.bindings[ending.ref.Index].placement == ending {
+		l.bindings[ending.ref.Index].placement = nil
 	}
-	if x.socket == nil {
-		f.notify(func() { f.dispatcher.ClientGone(x) })
+	if ending.socket == nil {
+		l.notify(func() { l.dispatcher.ClientGone(ending) })
 		return
 	}
-	out := x.socket
-	x.socket = nil
-	f.boundFlows--
-	f.releaseSocket(out)
-	f.notify(func() { f.dispatcher.PlacementEnded(x, outcome) })
+	socket := ending.socket
+	ending.socket = nil
+	l.boundFlows--
+	l.releaseSocket(socket)
+	l.notify(func() { l.dispatcher.PlacementEnded(ending, outcome) })
 }
 
 // leave forgets what the front has of a flow.
-func (f *Listener) forgetFlow(r flowtable.Ref) {
-	p := &f.bindings[r.Index]
-	p.queue.Drain(&f.queueBudget, func([]byte) { f.Counts.Gone.Add(1) })
-	if p.placement != nil {
-		f.endPlacement(p.placement, balance.OK)
+func (l *Listener) forgetFlow(ref flowtable.Ref) {
+	flow := &l.bindings[ref.Index]
+	flow.queue.Drain(&l.queueBudget, func([]byte) { l.Counts.Gone.Add(1) })
+	if flow.placement != nil {
+		l.endPlacement(flow.placement, balance.OK)
 	}
 }
 
 // keep lets time pass: flows expire, those in line are placed again.
-func (f *Listener) maintain(ctx context.Context) {
+func (l *Listener) maintain(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
 	for {
@@ -367,44 +367,44 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		f.mu.Lock()
+		l.mu.Lock()
 		if !mutation.Enabled("expiry") {
-			f.table.Advance(f.elapsed(), maxExpiredPerStep, func(r flowtable.Ref) {
-				f.Counts.Expired.Add(1)
-				f.forgetFlow(r)
+			l.table.Advance(l.elapsed(), maxExpiredPerStep, func(ref flowtable.Ref) {
+				l.Counts.Expired.Add(1)
+				l.forgetFlow(ref)
 			})
 		}
-		f.placeQueued(now)
-		f.replaceSilent(now)
-		f.mu.Unlock()
+		l.placeQueued(now)
+		l.replaceSilent(now)
+		l.mu.Unlock()
 	}
 }
 
 // Look is told that the list of next hops has changed: flows whose next hop drains or
 // is gone leave it at once, and what they send next goes elsewhere, at the pace.
-func (f *Listener) EndpointsChanged() {
+func (l *Listener) EndpointsChanged() {
 	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	leaving := map[string]bool{}
-	for i := range f.bindings {
-		x := f.bindings[i].placement
-		if x == nil || x.socket == nil {
+	for i := range l.bindings {
+		current := l.bindings[i].placement
+		if current == nil || current.socket == nil {
 			continue
 		}
-		gone, known := leaving[x.endpointID]
+		isLeaving, known := leaving[current.endpointID]
 		if !known {
-			gone = f.endpoints.IsDraining(x.endpointID, now)
-			leaving[x.endpointID] = gone
+			isLeaving = l.endpoints.IsDraining(current.endpointID, now)
+			leaving[current.endpointID] = isLeaving
 		}
-		if gone {
-			f.replacePlacement(x, balance.Cancelled)
+		if isLeaving {
+			l.replacePlacement(current, balance.Cancelled)
 		}
 	}
-	for server, h := range f.health {
-		if h.boundFlows == 0 && f.endpoints.Address(server) == "" {
-			h.close()
-			delete(f.health, server)
+	for endpointID, health := range l.health {
+		if health.boundFlows == 0 && l.endpoints.Address(endpointID) == "" {
+			health.close()
+			delete(l.health, endpointID)
 		}
 	}
 }
@@ -414,46 +414,46 @@
 // Start gives a flow its socket. Nothing is sent to find out whether the next hop is
 // there: a flow counts as up when it has one, which speaks for nobody, and a refusal or
 // silence ends it later.
-func (f *Listener) StartAttempt(i dispatch.Placement, attempt int, server string, _ time.Time) {
-	x := i.(*placement)
-	f.wg.Go(func() {
-		begun := time.Now()
-		if f.establish(x, server, begun) {
-			f.dispatcher.AttemptEstablished(x, attempt, server, 0) // nobody was asked
+func (l *Listener) StartAttempt(requested dispatch.Placement, attempt int, endpointID string, _ time.Time) {
+	starting := requested.(*placement)
+	l.wg.Go(func() {
+		startedAt := time.Now()
+		if l.establish(starting, endpointID, startedAt) {
+			l.dispatcher.AttemptEstablished(starting, attempt, endpointID, 0) // nobody was asked
 		} else {
-			f.dispatcher.AttemptEnded(x, attempt, server, balance.ConnectFailed, time.Since(begun), balance.EmptyLoadReport)
+			l.dispatcher.AttemptEnded(starting, attempt, endpointID, balance.ConnectFailed, time.Since(startedAt), balance.EmptyLoadReport)
 		}
 	})
 }
 
-func (f *Listener) establish(x *placement, server string, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if x.ended || f.closed || !f.endpoints.CanSend(server, now) {
+func (l *Listener) establish(starting *placement, endpointID string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if starting.ended || l.closed || !l.endpoints.CanSend(endpointID, now) {
 		return false
 	}
-	out, made, err := f.acquireSocket(server)
+	socket, opened, err := l.acquireSocket(endpointID)
 	if err != nil {
-		f.warnings.Warn("udp: socket", "nexthop", server, "err", err)
+		l.warnings.Warn("udp: socket", "nexthop", endpointID, "err", err)
 		return false
 	}
-	x.socket, x.endpointID = out, server
-	f.boundFlows++
-	f.batchTime = now.Sub(f.start)
-	p := &f.bindings[x.ref.Index]
-	p.queue.Drain(&f.queueBudget, func(d []byte) {
-		if x.socket != nil {
-			f.send(p, x, d)
+	starting.socket, starting.endpointID = socket, endpointID
+	l.boundFlows++
+	l.batchTime = now.Sub(l.start)
+	flow := &l.bindings[starting.ref.Index]
+	flow.queue.Drain(&l.queueBudget, func(datagram []byte) {
+		if starting.socket != nil {
+			l.send(flow, starting, datagram)
 		} else {
-			f.Counts.Unsent.Add(1) // refused on the way
+			l.Counts.Unsent.Add(1) // refused on the way
 		}
 	})
-	f.flush()
-	if made && out.boundFlows > 0 { // else it stood, if not for long; Ended has been told
-		if f.options.SharedSockets {
-			f.wg.Go(func() { f.relaySharedReplies(out) })
+	l.flush()
+	if opened && socket.boundFlows > 0 { // else it stood, if not for long; Ended has been told
+		if l.options.SharedSockets {
+			l.wg.Go(func() { l.relaySharedReplies(socket) })
 		} else {
-			f.wg.Go(func() { f.relayReplies(x, out.conn) })
+			l.wg.Go(func() { l.relayReplies(starting, socket.conn) })
 		}
 	}
 	return true
@@ -461,80 +461,80 @@
 
 // replies passes on what a next hop answers, to the flow's own client alone: the
 // socket is that placement's, and ends with it.
-func (f *Listener) relayReplies(x *placement, conn *net.UDPConn) {
-	client := f.clientAddress(x)
+func (l *Listener) relayReplies(current *placement, conn *net.UDPConn) {
+	client := l.clientAddress(current)
 	buffer := make([]byte, typicalDatagramSize)
 	for {
 		n, _, flags, _, err := conn.ReadMsgUDPAddrPort(buffer, nil)
 		if err != nil {
-			f.mu.Lock()
-			if isRefused(err) && !x.ended {
-				f.replacePlacement(x, balance.Reset)
+			l.mu.Lock()
+			if isRefused(err) && !current.ended {
+				l.replacePlacement(current, balance.Reset)
 			}
-			gone := x.ended
-			f.mu.Unlock()
-			if gone || errors.Is(err, net.ErrClosed) {
+			ended := current.ended
+			l.mu.Unlock()
+			if ended || errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
 		}
 		if flags&truncatedFlag != 0 && len(buffer) < maxDatagramSize {
 			buffer = make([]byte, maxDatagramSize) // this one is lost, the next is not
-			f.Counts.UnmatchedReplies.Add(1)
+			l.Counts.UnmatchedReplies.Add(1)
 			continue
 		}
-		f.mu.Lock()
-		stands := !x.ended && f.table.IsValid(x.ref)
-		if stands {
-			x.socket.health.evidence.Received()
-			f.table.Touch(x.ref, f.elapsed())
+		l.mu.Lock()
+		isCurrent := !current.ended && l.table.IsValid(current.ref)
+		if isCurrent {
+			current.socket.health.evidence.Received()
+			l.table.Touch(current.ref, l.elapsed())
 		}
-		f.mu.Unlock()
-		if !stands {
-			f.Counts.UnmatchedReplies.Add(1)
+		l.mu.Unlock()
+		if !isCurrent {
+			l.Counts.UnmatchedReplies.Add(1)
 			continue
 		}
-		if _, err := f.conn.WriteToUDPAddrPort(buffer[:n], client); err == nil {
-			f.Counts.Replies.Add(1)
+		if _, err := l.conn.WriteToUDPAddrPort(buffer[:n], client); err == nil {
+			l.Counts.Replies.Add(1)
 		}
 	}
 }
 
-func (f *Listener) clientAddress(x *placement) netip.AddrPort {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.bindings[x.ref.Index].client
+func (l *Listener) clientAddress(current *placement) netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bindings[current.ref.Index].client
 }
 
 // Asked is the request.
-func (x *placement) PlacementRequest() *dispatch.Request { return &x.Request }
+func (p *placement) PlacementRequest() *dispatch.Request { return &p.Request }
 
 // Refuse drops what waits: a datagram's client has no other answer.
-func (x *placement) Reject(time.Duration) bool { return x.Fail() }
+func (p *placement) Reject(time.Duration) bool { return p.Fail() }
 
 // Fail is the same. The flow is placed anew with its next datagram.
-func (x *placement) Fail() bool {
-	f := x.listener
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if x.ended || x.socket != nil {
+func (p *placement) Fail() bool {
+	listener := p.listener
+	listener.mu.Lock()
+	defer listener.mu.Unlock()
+	if p.ended || p.socket != nil {
 		return false
 	}
-	x.ended = true
-	p := &f.bindings[x.ref.Index]
-	if p.placement == x {
-		p.placement = nil
-		p.queue.Drain(&f.queueBudget, func([]byte) { f.Counts.Refused.Add(1) })
-		f.table.Remove(x.ref)
+	p.ended = true
+	flow := &listener.bindings[p.ref.Index]
+	if flow.placement == p {
+		flow.placement = nil
+		flow.queue.Drain(&listener.queueBudget, func([]byte) { listener.Counts.Refused.Add(1) })
+		listener.table.Remove(p.ref)
 	}
 	return true
 }
 
 // Move has the flow placed again, in mid-flow.
-func (x *placement) Migrate() {
-	x.listener.mu.Lock()
-	defer x.listener.mu.Unlock()
-	if x.socket != nil {
-		x.listener.replacePlacement(x, balance.Cancelled)
+func (p *placement) Migrate() {
+	p.listener.mu.Lock()
+	defer p.listener.mu.Unlock()
+	if p.socket != nil {
+		p.listener.replacePlacement(p, balance.Cancelled)
 	}
 }
--- a/internal/udp/udp_test.go
+++ b/internal/udp/udp_test.go
@@ -542,19 +542,19 @@
 }
 
 // refOf is a client's flow; none if it is not known.
-func (f *Listener) refOf(client netip.AddrPort) flowtable.Ref {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	r, _ := f.table.Lookup(flowtable.Key{Addr: client.Addr().As16(), Port: client.Port()})
+func (l *Listener) refOf(client netip.AddrPort) flowtable.Ref {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, _ := l.table.Lookup(flowtable.Key{Addr: client.Addr().As16(), Port: client.Port()})
 	return r
 }
 
 // socketsOf is where the front has shared sockets, by next hop.
-func (f *Listener) socketsOf() map[string]netip.AddrPort {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (l *Listener) socketsOf() map[string]netip.AddrPort {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	m := map[string]netip.AddrPort{}
-	for s, out := range f.sharedSockets {
+	for s, out := range l.sharedSockets {
 		m[s] = out.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	}
 	return m
