--- a/internal/udp/runs_test.go
+++ b/internal/udp/runs_test.go
@@ -11,7 +11,7 @@
 )
 
 // cut does what the kernel does with a message: it cuts it by the size in its control.
-func cut(m ipv4.Message) (list [][]byte) {
+func segmentsOf(m ipv4.Message) (list [][]byte) {
 	all := bytes.Join(m.Buffers, nil)
 	if len(m.OOB) == 0 {
 		return [][]byte{all}
@@ -25,7 +25,7 @@
 
 // Whatever is joined comes out as it went in: the same datagrams, in order, none of
 // nothing, none too large to be cut, and each counted.
-func TestRuns(t *testing.T) {
+func TestSegmenterKeepsEveryDatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sizes := rapid.SliceOfN(rapid.SampledFrom([]int{0, 1, 63, 64, 64, 64, 64, 65, 1200, 1201, 60_000}), 1, batchSize).Draw(t, "sizes")
 		list, want := []ipv4.Message{}, [][]byte{}
@@ -40,7 +40,7 @@
 			t.Helper()
 			got := [][]byte{}
 			for i, m := range messages {
-				parts := cut(m)
+				parts := segmentsOf(m)
 				if len(parts) != r.datagramsIn(i) {
 					t.Fatalf("message %d: %d datagrams, counted as %d", i, len(parts), r.datagramsIn(i))
 				}
@@ -68,27 +68,27 @@
 }
 
 // Beacons of many sizes go through, and joined ones arrive as they were sent.
-func TestRunsOnSockets(t *testing.T) {
-	f, _, h := front(t, both(shared, func(o *Options) { o.ProxyHeader = false; o.FlowQueue.Count, o.FlowQueue.Bytes = 100, 1<<20 }))
-	x := dial(t, f)
-	x.send("first")
-	eventually(t, "it is placed", func() bool { return h.count("a") == 1 })
+func TestSegmentedDatagramsArriveWhole(t *testing.T) {
+	listener, _, endpoints := startListener(t, combine(sharedSockets, func(o *Options) { o.ProxyHeader = false; o.FlowQueue.Count, o.FlowQueue.Bytes = 100, 1<<20 }))
+	client := dial(t, listener)
+	client.send("first")
+	eventually(t, "it is placed", func() bool { return endpoints.count("a") == 1 })
 	want := 1
 	for range 20 {
 		for _, n := range []int{10, 10, 10, 7, 10, 900, 900, 1500, 0, 3} {
-			x.send(string(bytes.Repeat([]byte("x"), n)))
+			client.send(string(bytes.Repeat([]byte("x"), n)))
 			want++
 		}
-		eventually(t, "all arrive", func() bool { return h.count("a") == want })
+		eventually(t, "all arrive", func() bool { return endpoints.count("a") == want })
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for i, text := range h.got["a"][1:] { // cut off at 20 bytes
+	endpoints.mu.Lock()
+	defer endpoints.mu.Unlock()
+	for i, text := range endpoints.received["a"][1:] { // cut off at 20 bytes
 		if n := []int{10, 10, 10, 7, 10, 20, 20, 20, 0, 3}[i%10]; len(text) != n {
 			t.Fatalf("datagram %d has %d bytes, want %d", i, len(text), n)
 		}
 	}
-	if n := f.Counts.Forwarded.Load(); n != int64(want) {
+	if n := listener.Counts.Forwarded.Load(); n != int64(want) {
 		t.Errorf("%d forwarded, want %d", n, want)
 	}
 }
