flowtable: split by concern (index, expiry wheel, unsettled list, eviction), documented

table.go is split into options, table, index, expiry, unsettled and eviction; the token bucket that stood in Pacer and Sources is one type.

--- /dev/null
+++ b/internal/flowtable/eviction.go
@@ -0,0 +1,38 @@
+package flowtable
+
+// ensureFreeEntry applies the policy: it evicts a flow where a new one needs its entry, and
+// returns false if the new flow is rejected.
+func (t *Table) ensureFreeEntry(evicted func(Ref)) bool {
+	full := t.firstFree == noEntry
+	switch t.options.Policy {
+	case Reserve:
+		return t.ensureUnreservedEntry(full, evicted)
+	case EvictIdle:
+		if full {
+			t.evict(t.longestIdle(), evicted)
+		}
+		return true
+	}
+	return !full
+}
+
+// ensureUnreservedEntry keeps unsettled flows out of the reserved share of the table.
+func (t *Table) ensureUnreservedEntry(full bool, evicted func(Ref)) bool {
+	unreserved := len(t.entries) - int(t.options.ReservedShare*float64(len(t.entries)))
+	if !full && t.unsettled < unreserved {
+		return true
+	}
+	if t.oldestUnsettled == noEntry { // settled flows are never evicted
+		return !full
+	}
+	t.evict(t.oldestUnsettled, evicted)
+	return true
+}
+
+func (t *Table) evict(i int32, evicted func(Ref)) {
+	r := t.ref(i)
+	if evicted != nil {
+		evicted(r)
+	}
+	t.Remove(r)
+}
--- a/internal/flowtable/liveness.go
+++ b/internal/flowtable/liveness.go
@@ -2,47 +2,55 @@
 
 import "time"
 
-// SilenceOptions say when a next hop counts as silent.
+// SilenceOptions say when an endpoint counts as silent.
 type SilenceOptions struct {
-	After     time.Duration // nothing was heard of it for so long; 0 for never
-	Datagrams int           // and so many went unanswered, where it used to answer
+	After     time.Duration // nothing was received from it for so long; 0 turns the check off
+	Datagrams int           // and so many datagrams went unanswered, if it used to answer; 0 ignores answers
 }
 
-// habit is the share of datagrams that a next hop must have answered to be one that
-// answers, and custom how many it must have been sent before that can be told.
 const (
-	minAnsweredShare   = 0.5
+	// minAnsweredShare is the share of datagrams that an endpoint must have answered for
+	// missing answers to mean anything.
+	minAnsweredShare = 0.5
+	// minSampleDatagrams is how many datagrams it must have been sent before that share counts.
 	minSampleDatagrams = 20
+	// maxSampleDatagrams is where the sample is halved, so that the share follows changes.
+	maxSampleDatagrams = 50 * minSampleDatagrams
 )
 
-// Evidence is what speaks for a next hop being there: answers to flows, where it gives
-// any, and to whatever else asks for its health. Its zero value has none yet.
+// LivenessEvidence is what is known of an endpoint's liveness: its answers to flows, if it
+// gives any, and to probes. Its zero value knows nothing.
 type LivenessEvidence struct {
-	sent, answered  float64 // until it was last heard of; halved now and then, as habits change
-	unanswered      int     // sent since then
+	// The sample: datagrams sent until the last answer, and answers.
+	sent, answered float64
+
+	unanswered      int // datagrams since the last answer
 	unansweredSince time.Duration
-	probeFailed     bool // nothing that asked for its health was answered since then
-	probeFailedAt   time.Duration
+
+	probeFailed   bool // no probe was answered since probeFailedAt
+	probeFailedAt time.Duration
 }
 
-// Sent notes a datagram to it.
+// Sent records a datagram to the endpoint.
 func (e *LivenessEvidence) Sent(now time.Duration) {
-	if e.unanswered++; e.unanswered == 1 {
+	e.unanswered++
+	if e.unanswered == 1 {
 		e.unansweredSince = now
 	}
 }
 
-// Heard notes an answer to a flow.
+// Received records an answer to a flow.
 func (e *LivenessEvidence) Received() {
 	e.sent += float64(e.unanswered)
 	e.answered++
 	e.unanswered = 0
-	if e.sent > 50*minSampleDatagrams {
-		e.sent, e.answered = e.sent/2, e.answered/2
+	if e.sent > maxSampleDatagrams {
+		e.sent /= 2
+		e.answered /= 2
 	}
 }
 
-// Asked notes whether it answered what asks for its health.
+// ProbeAnswered records whether the endpoint answered a probe.
 func (e *LivenessEvidence) ProbeAnswered(now time.Duration, ok bool) {
 	switch {
 	case ok:
@@ -52,12 +60,15 @@
 	}
 }
 
-// Left notes that its flows have left it: what they were not answered is over with them,
-// and whoever comes next finds out anew. Its habit stays known.
-func (e *LivenessEvidence) FlowRemoved() { e.unanswered, e.probeFailed = 0, false }
+// FlowRemoved records that the endpoint's flows were moved elsewhere: their unanswered
+// datagrams and failed probes no longer count, its answered share still does.
+func (e *LivenessEvidence) FlowRemoved() {
+	e.unanswered = 0
+	e.probeFailed = false
+}
 
-// Silent tells whether it is to be left. That what asks for its health is answered does
-// not save one that used to answer its flows: a hung one may do just that.
+// IsSilent reports whether the endpoint's flows should be moved elsewhere. Answered probes
+// don't save an endpoint that used to answer its flows: a hung one may still answer probes.
 func (e *LivenessEvidence) IsSilent(now time.Duration, options SilenceOptions) bool {
 	if options.After <= 0 {
 		return false
@@ -65,6 +76,10 @@
 	if e.probeFailed && now-e.probeFailedAt >= options.After {
 		return true
 	}
-	return options.Datagrams > 0 && e.unanswered >= options.Datagrams && now-e.unansweredSince >= options.After &&
-		e.sent >= minSampleDatagrams && e.answered >= minAnsweredShare*e.sent
+	return options.Datagrams > 0 && e.usedToAnswer() &&
+		e.unanswered >= options.Datagrams && now-e.unansweredSince >= options.After
+}
+
+func (e *LivenessEvidence) usedToAnswer() bool {
+	return e.sent >= minSampleDatagrams && e.answered >= minAnsweredShare*e.sent
 }
--- a/internal/flowtable/pacer.go
+++ b/internal/flowtable/pacer.go
@@ -2,59 +2,72 @@
 
 import "time"
 
-// Pace spreads placements that come in a burst, such as those of all flows of a
-// server that is lost: so many may be asked for at once, so many a second after
-// that. Who waits stays in order; the decision module keeps its own budgets besides.
+const (
+	// compactionSlack is how many flows a Pacer's queue holds at least before it is compacted.
+	compactionSlack = 1024
+	// minPacerWait is the shortest time that Pacer.Next tells its caller to wait.
+	minPacerWait = time.Millisecond
+)
+
+// Pacer spreads placements that come in a burst, such as those of all flows of an endpoint
+// that was lost: Burst of them at once, Rate a second after that, the others wait in a
+// queue. The dispatcher has budgets of its own besides.
 type Pacer struct {
-	Rate         float64 // a second
-	Burst        float64
-	NewestFirst  bool // first: in a flood the oldest lose their places before it is their turn
-	compactAbove int  // of the queue, before those that nobody wants are looked for
-	tokens       float64
-	refilledAt   time.Duration
-	started      bool
+	Rate  float64 // placements a second
+	Burst float64 // placements at once
+	// NewestFirst has the newest flow placed first. In a flood the oldest ones are evicted
+	// before it is their turn.
+	NewestFirst bool
+
+	bucket       tokenBucket
+	started      bool // the bucket has been filled
 	queue        []Ref
-	head         int
+	head         int // of the queue; what is before it has been taken
+	compactAbove int // the length of the queue above which Add compacts it
 }
 
-// Add puts a flow into the line. Those that still no longer wants leave it.
+// Add puts a flow into the queue. A queue that has grown is rid of flows that isWanted rejects.
 func (p *Pacer) Add(ref Ref, isWanted func(Ref) bool) {
 	if len(p.queue) > p.compactAbove {
-		kept := p.queue[:0]
-		for _, queued := range p.queue[p.head:] {
-			if isWanted(queued) {
-				kept = append(kept, queued)
-			}
-		}
-		p.queue, p.head, p.compactAbove = kept, 0, 2*len(kept)+1024
+		p.compact(isWanted)
 	}
 	p.queue = append(p.queue, ref)
 }
 
-// Len is how many wait.
+func (p *Pacer) compact(isWanted func(Ref) bool) {
+	kept := p.queue[:0]
+	for _, queued := range p.queue[p.head:] {
+		if isWanted(queued) {
+			kept = append(kept, queued)
+		}
+	}
+	p.queue, p.head = kept, 0
+	p.compactAbove = 2*len(kept) + compactionSlack
+}
+
+// Len returns how many flows wait, including those that are no longer wanted.
 func (p *Pacer) Len() int { return len(p.queue) - p.head }
 
-// Next hands over a flow whose turn it is. It is false if none is: wait tells how
-// long until one may be, 0 if nobody waits. Flows that still no longer wants take no
-// turn; in a flood most have lost their places by the time they are reached.
+// Next takes the next flow from the queue. If ok is false there is none yet: wait is the time
+// until the next token, or 0 if no flow waits. Flows that isWanted rejects are dropped and
+// take no token; in a flood that is most of them.
 func (p *Pacer) Next(now time.Duration, isWanted func(Ref) bool) (ref Ref, ok bool, wait time.Duration) {
 	if !p.started {
-		p.started, p.tokens, p.refilledAt = true, p.Burst, now
-	}
-	if now > p.refilledAt {
-		p.tokens = min(p.Burst, p.tokens+p.Rate*(now-p.refilledAt).Seconds())
-		p.refilledAt = now
+		p.started = true
+		p.bucket = tokenBucket{tokens: p.Burst, refilledAt: now}
 	}
+	p.bucket.refill(now, p.Rate, p.Burst)
 	for p.Len() > 0 && !isWanted(p.peek()) {
 		p.pop()
 	}
 	if p.Len() == 0 {
 		return Ref{}, false, 0
 	}
-	if p.tokens < 1 {
-		return Ref{}, false, max(time.Millisecond, time.Duration((1-p.tokens)/p.Rate*float64(time.Second)))
+	if p.bucket.tokens < 1 {
+		untilToken := time.Duration((1 - p.bucket.tokens) / p.Rate * float64(time.Second))
+		return Ref{}, false, max(minPacerWait, untilToken)
 	}
-	p.tokens--
+	p.bucket.tokens--
 	return p.pop(), true, 0
 }
 
@@ -71,7 +84,8 @@
 		p.queue = p.queue[:len(p.queue)-1]
 		return ref
 	}
-	if p.head++; p.head == len(p.queue) {
+	p.head++
+	if p.head == len(p.queue) {
 		p.queue, p.head = p.queue[:0], 0
 	}
 	return ref
--- a/internal/flowtable/queue.go
+++ b/internal/flowtable/queue.go
@@ -1,53 +1,57 @@
 package flowtable
 
-// Room bounds the datagrams that wait for decisions, in all flows together.
-type QueueBudget struct {
-	Count, Bytes int // that may still wait
-}
+// QueueBudget is what all flows together may still queue. Queues take from it and give back.
+type QueueBudget struct{ Count, Bytes int }
 
-// Bounds are those of one flow's queue.
+// QueueLimit limits the datagrams and bytes in one flow's queue.
 type QueueLimit struct{ Count, Bytes int }
 
-// Waiting is the datagrams of one flow that wait for a decision, the oldest first.
-// Its zero value is empty.
+// Queue holds the datagrams of one flow that wait for its placement, the oldest first. Its
+// zero value is empty.
 type Queue struct {
 	datagrams [][]byte
 	bytes     int
 }
 
-// Len is how many wait.
-func (w *Queue) Len() int { return len(w.datagrams) }
+// Len returns how many datagrams wait.
+func (q *Queue) Len() int { return len(q.datagrams) }
 
-// Put lets a datagram wait, which is then the queue's. Where there is no room the
-// oldest of this flow make it, never those of another: dropped is told of each, and
-// of the datagram itself if there is no room for it at all.
-func (w *Queue) Put(datagram []byte, limit QueueLimit, budget *QueueBudget, dropped func([]byte)) {
-	for len(w.datagrams) > 0 && (len(w.datagrams) >= limit.Count || w.bytes+len(datagram) > limit.Bytes || budget.Count < 1 || budget.Bytes < len(datagram)) {
-		dropped(w.pop(budget))
+// Put appends a datagram, which then belongs to the queue. Where the limit or the budget is
+// reached, the oldest datagrams of this flow are dropped for it, never those of another, and
+// the datagram itself if that is not enough. dropped is called for each.
+func (q *Queue) Put(datagram []byte, limit QueueLimit, budget *QueueBudget, dropped func([]byte)) {
+	for q.Len() > 0 && !q.hasCapacity(len(datagram), limit, *budget) {
+		dropped(q.pop(budget))
 	}
-	if limit.Count < 1 || len(datagram) > limit.Bytes || budget.Count < 1 || budget.Bytes < len(datagram) {
+	if !q.hasCapacity(len(datagram), limit, *budget) {
 		dropped(datagram)
 		return
 	}
-	w.datagrams = append(w.datagrams, datagram)
-	w.bytes += len(datagram)
+	q.datagrams = append(q.datagrams, datagram)
+	q.bytes += len(datagram)
 	budget.Count--
 	budget.Bytes -= len(datagram)
 }
 
-func (w *Queue) pop(budget *QueueBudget) []byte {
-	datagram := w.datagrams[0]
-	w.datagrams = w.datagrams[1:]
-	w.bytes -= len(datagram)
+func (q *Queue) hasCapacity(size int, limit QueueLimit, budget QueueBudget) bool {
+	withinLimit := q.Len() < limit.Count && q.bytes+size <= limit.Bytes
+	withinBudget := budget.Count >= 1 && budget.Bytes >= size
+	return withinLimit && withinBudget
+}
+
+func (q *Queue) pop(budget *QueueBudget) []byte {
+	datagram := q.datagrams[0]
+	q.datagrams = q.datagrams[1:]
+	q.bytes -= len(datagram)
 	budget.Count++
 	budget.Bytes += len(datagram)
 	return datagram
 }
 
-// Drain hands over all that wait, in order.
-func (w *Queue) Drain(budget *QueueBudget, deliver func([]byte)) {
-	for len(w.datagrams) > 0 {
-		deliver(w.pop(budget))
+// Drain empties the queue and delivers each datagram in order.
+func (q *Queue) Drain(budget *QueueBudget, deliver func([]byte)) {
+	for len(q.datagrams) > 0 {
+		deliver(q.pop(budget))
 	}
-	w.datagrams = nil
+	q.datagrams = nil
 }
--- a/internal/flowtable/sources.go
+++ b/internal/flowtable/sources.go
@@ -5,29 +5,27 @@
 	"time"
 )
 
-// SourceOptions bound how fast one source may bring new flows.
+// ipv6PrefixBytes is the part of an IPv6 address that identifies a source: its /64 network.
+const ipv6PrefixBytes = 8
+
+// SourceOptions limit how fast one source may open new flows.
 type SourceOptions struct {
-	Slots int     // of the structure; at least 2
-	Rate  float64 // new flows a second, for each source; 0 for no bound
-	Burst float64 // that may come at once
+	Slots int     // how many token buckets there are; at least 2
+	Rate  float64 // new flows a second of each source; 0 for no limit
+	Burst float64 // new flows that may come at once
 	Seed  maphash.Seed
 }
 
-// Sources are token buckets for new flows in a structure of fixed size. A source is
-// an IPv4 address or an IPv6 prefix of 64 bits. Each has two slots, which it shares
-// with whoever falls into them too: it may go on while either has a token, so that a
-// source is held up by others only if floods drain both of its slots.
+// Sources limits the rate of new flows with a fixed number of token buckets. A source is
+// an IPv4 address or an IPv6 prefix of 64 bits. Each source has two buckets, which it shares
+// with other sources of the same hash, and takes from the fuller one: a source is rejected
+// on account of others only if these have drained both of its buckets.
 type Sources struct {
 	options SourceOptions
 	buckets []tokenBucket
 }
 
-type tokenBucket struct {
-	tokens     float64
-	refilledAt time.Duration
-}
-
-// NewSources returns them, all full.
+// NewSources returns a limiter whose buckets are full.
 func NewSources(options SourceOptions) *Sources {
 	s := &Sources{options: options, buckets: make([]tokenBucket, max(2, options.Slots))}
 	for i := range s.buckets {
@@ -36,14 +34,14 @@
 	return s
 }
 
-// Allow tells whether the source of a key may bring one more flow, and counts it.
+// Allow reports whether the source of a key may open one more flow, and counts it if so.
 func (s *Sources) Allow(key Key, now time.Duration) bool {
 	if s.options.Rate <= 0 {
 		return true
 	}
 	source := key.Addr
 	if !isMappedIPv4(source) {
-		clear(source[8:])
+		clear(source[ipv6PrefixBytes:])
 	}
 	hash := maphash.Comparable(s.options.Seed, source)
 	count := uint64(len(s.buckets))
@@ -59,16 +57,13 @@
 	return true
 }
 
-func (s *Sources) refill(slot uint64, now time.Duration) *tokenBucket {
-	refilled := &s.buckets[slot]
-	if now > refilled.refilledAt { // a clock that steps back gives nothing
-		refilled.tokens = min(s.options.Burst, refilled.tokens+s.options.Rate*(now-refilled.refilledAt).Seconds())
-		refilled.refilledAt = now
-	}
-	return refilled
+func (s *Sources) refill(i uint64, now time.Duration) *tokenBucket {
+	bucket := &s.buckets[i]
+	bucket.refill(now, s.options.Rate, s.options.Burst)
+	return bucket
 }
 
-// isV4 tells whether the address is an IPv4 one, written as ::ffff:a.b.c.d.
+// isMappedIPv4 reports whether the address is an IPv4 one, written as ::ffff:a.b.c.d.
 func isMappedIPv4(address [16]byte) bool {
 	return [12]byte(address[:12]) == [12]byte{10: 0xff, 11: 0xff}
 }
--- /dev/null
+++ b/internal/flowtable/unsettled.go
@@ -0,0 +1,30 @@
+package flowtable
+
+// appendUnsettled makes an entry the newest of the unsettled flows.
+func (t *Table) appendUnsettled(i int32) {
+	e := &t.entries[i]
+	e.unsettledPrev, e.unsettledNext = t.newestUnsettled, noEntry
+	if t.newestUnsettled != noEntry {
+		t.entries[t.newestUnsettled].unsettledNext = i
+	} else {
+		t.oldestUnsettled = i
+	}
+	t.newestUnsettled = i
+	t.unsettled++
+}
+
+// removeUnsettled takes an entry out of the list of unsettled flows.
+func (t *Table) removeUnsettled(i int32) {
+	e := &t.entries[i]
+	if e.unsettledPrev != noEntry {
+		t.entries[e.unsettledPrev].unsettledNext = e.unsettledNext
+	} else {
+		t.oldestUnsettled = e.unsettledNext
+	}
+	if e.unsettledNext != noEntry {
+		t.entries[e.unsettledNext].unsettledPrev = e.unsettledPrev
+	} else {
+		t.newestUnsettled = e.unsettledPrev
+	}
+	t.unsettled--
+}
