--- a/internal/udp/errors_unix.go
+++ b/internal/udp/errors_unix.go
@@ -5,8 +5,9 @@
 	"syscall"
 )
 
-// truncated marks a datagram that did not fit.
+// truncatedFlag marks a datagram that was larger than its buffer.
 const truncatedFlag = syscall.MSG_TRUNC
 
-// isRefused tells whether an error is an ICMP port unreachable of before.
+// isRefused reports whether a socket's error is an ICMP port unreachable, the answer to an
+// earlier datagram.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -12,42 +12,46 @@
 )
 
 const (
-	// seeks is how often silent next hops are looked for, and asks how often one is sent an echo.
-	silenceCheckInterval, echoInterval = 250 * time.Millisecond, time.Second
+	// silenceCheckInterval is how often silent endpoints are looked for.
+	silenceCheckInterval = 250 * time.Millisecond
+	// echoInterval is how often an endpoint is sent an echo.
+	echoInterval = time.Second
 )
 
-// health is what the front keeps of a next hop, under its lock.
+// endpointHealth is what the listener knows of an endpoint's liveness, under its lock.
 type endpointHealth struct {
 	endpointID string
-	boundFlows int // that stand there
+	boundFlows int
 	evidence   flowtable.LivenessEvidence
 
-	echoConn     *net.UDPConn // nil where probes tell
-	echoSent     bool         // an echo is out
-	echoAnswered bool
+	echoConn     *net.UDPConn // nil where the endpoint's probes are used
+	echoSent     bool
+	echoAnswered bool // since the last one was sent
 	nextEchoAt   time.Time
 }
 
-// healthOf returns a next hop's, which is kept for as long as the list names it: what it
-// used to do counts when it has flows again.
+// endpointHealth returns the health of an endpoint, and opens the socket for its echoes. It is
+// kept while the endpoint is listed: its answered share counts when it has flows again.
 func (l *Listener) endpointHealth(endpointID string, address netip.AddrPort) *endpointHealth {
 	h := l.health[endpointID]
 	if h == nil {
 		h = &endpointHealth{endpointID: endpointID}
 		l.health[endpointID] = h
 	}
-	if h.echoConn == nil && l.options.Echo != "" && l.options.Silence.After > 0 {
-		conn, err := l.sourcePorts.dial(address)
-		if err != nil {
-			l.warnings.Warn("udp: socket for echoes", "nexthop", endpointID, "err", err)
-			return h
-		}
-		h.echoConn = conn
-		l.wg.Go(func() { l.readEchoes(h, conn) })
+	if h.echoConn != nil || l.options.Echo == "" || l.options.Silence.After <= 0 {
+		return h
+	}
+	conn, err := l.sourcePorts.dial(address)
+	if err != nil {
+		l.warnings.Warn("udp: socket for echoes", "nexthop", endpointID, "err", err)
+		return h
 	}
+	h.echoConn = conn
+	l.wg.Go(func() { l.readEchoes(h, conn) })
 	return h
 }
 
+// close closes the socket for echoes, if there is one.
 func (h *endpointHealth) close() {
 	if h.echoConn != nil {
 		_ = h.echoConn.Close()
@@ -55,7 +59,7 @@
 	}
 }
 
-// echoes notes what answers an echo, whatever it says.
+// readEchoes records the answers to echoes, whatever they contain, until the socket is closed.
 func (l *Listener) readEchoes(h *endpointHealth, conn *net.UDPConn) {
 	buffer := make([]byte, typicalDatagramSize)
 	for {
@@ -73,8 +77,8 @@
 	}
 }
 
-// leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
-// elsewhere with their next datagrams, at the pace.
+// replaceSilent replaces the flows of endpoints that have fallen silent. They are placed again
+// with their next datagrams, at the rate of Options.ReplacedFlows.
 func (l *Listener) replaceSilent(now time.Time) {
 	if l.options.Silence.After <= 0 || now.Before(l.silenceCheckAt) {
 		return
@@ -82,8 +86,8 @@
 	l.silenceCheckAt = now.Add(silenceCheckInterval)
 	elapsed := now.Sub(l.start)
 	for _, h := range l.health {
-		if h.boundFlows == 0 {
-			h.close() // it is asked while it has flows
+		if h.boundFlows == 0 { // no echoes without flows
+			h.close()
 			h.echoSent = false
 			continue
 		}
@@ -98,21 +102,24 @@
 	}
 }
 
-// inquire takes the latest word on a next hop, and asks for another.
+// probe records the latest result of an endpoint's probes or echoes, and sends the next echo
+// when it is due.
 func (l *Listener) probe(h *endpointHealth, now time.Time) {
 	elapsed := now.Sub(l.start)
-	switch {
-	case h.echoConn == nil:
+	if h.echoConn == nil {
 		h.evidence.ProbeAnswered(elapsed, l.endpoints.IsResponsive(h.endpointID))
-	case now.Before(h.nextEchoAt):
+		return
+	}
+	if now.Before(h.nextEchoAt) { // there is still time for an answer
 		if h.echoAnswered {
 			h.evidence.ProbeAnswered(elapsed, true)
 		}
-	default:
-		if h.echoSent {
-			h.evidence.ProbeAnswered(elapsed, h.echoAnswered)
-		}
-		h.echoSent, h.echoAnswered, h.nextEchoAt = true, false, now.Add(echoInterval)
-		_, _ = h.echoConn.Write([]byte(l.options.Echo)) // a refusal shows at the flows' sockets
+		return
+	}
+	if h.echoSent {
+		h.evidence.ProbeAnswered(elapsed, h.echoAnswered)
 	}
+	h.echoSent, h.echoAnswered = true, false
+	h.nextEchoAt = now.Add(echoInterval)
+	_, _ = h.echoConn.Write([]byte(l.options.Echo)) // a refusal shows at the flows' sockets
 }
--- a/internal/udp/proxyheader.go
+++ b/internal/udp/proxyheader.go
@@ -11,24 +11,36 @@
 var errProxyHeader = errors.New("no PROXY v2 header for UDP")
 
 // The PROXY protocol, version 2 (haproxy.org, proxy-protocol.txt, section 2.2), for
-// datagrams: a header in front of each tells the next hop its client.
+// datagrams: a header in front of each tells the endpoint its client.
 const (
 	proxySignature      = "\r\n\r\n\x00\r\nQUIT\n"
 	proxyVersionCommand = 0x21 // version 2, command PROXY
 	proxyUDPv4          = 0x12
 	proxyUDPv6          = 0x22
-	proxyFixedLen       = len(proxySignature) + 4
-	// mark is the type of our own value behind the addresses (section 2.2.8 leaves 0xE0 to
-	// 0xEF to whoever needs them): the flow's place in the table, with which a next hop's
-	// answer finds it again.
+
+	proxyVersionOffset = len(proxySignature)
+	proxyFamilyOffset  = proxyVersionOffset + 1
+	proxyLengthOffset  = proxyFamilyOffset + 1
+	proxyFixedLen      = proxyLengthOffset + 2
+	proxyIPv4Len       = 2*4 + 2*2  // addresses and ports
+	proxyIPv6Len       = 2*16 + 2*2 // addresses and ports
+
+	// maxProxyHeaderLen is the length of the longest header that is written.
+	maxProxyHeaderLen = proxyFixedLen + proxyIPv6Len + flowRefTLVLen
+)
+
+// The value behind the addresses that refers to the flow (type, length, value). An endpoint
+// that repeats the header in its replies over a shared socket has them find their flow again.
+const (
+	tlvHeaderLen = 3
+	// tlvFlowRef is of the range that section 2.2.8 leaves to applications, 0xE0 to 0xEF.
 	tlvFlowRef    = 0xE0
-	flowRefTLVLen = 3 + 8
-	// longestProxy is the longest header that is written.
-	maxProxyHeaderLen = proxyFixedLen + 36 + flowRefTLVLen
+	flowRefLen    = 4 + 4 // index and generation
+	flowRefTLVLen = tlvHeaderLen + flowRefLen
 )
 
-// appendProxy appends the header for a datagram from src to dst, with the flow's mark if
-// it has one.
+// appendProxyHeader appends the header for a datagram from source to destination, with a
+// reference to its flow unless ref is the zero value.
 func appendProxyHeader(b []byte, source, destination netip.AddrPort, ref flowtable.Ref) []byte {
 	tlvLen := 0
 	if ref.Gen != 0 {
@@ -37,57 +49,81 @@
 	b = append(b, proxySignature...)
 	from, to := source.Addr().Unmap(), destination.Addr().Unmap()
 	if from.Is4() && to.Is4() {
-		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv4), uint16(12+tlvLen))
-		f, t := from.As4(), to.As4()
-		b = append(append(b, f[:]...), t[:]...)
+		b = append(b, proxyVersionCommand, proxyUDPv4)
+		b = binary.BigEndian.AppendUint16(b, uint16(proxyIPv4Len+tlvLen))
+		from4, to4 := from.As4(), to.As4()
+		b = append(b, from4[:]...)
+		b = append(b, to4[:]...)
 	} else {
-		b = binary.BigEndian.AppendUint16(append(b, proxyVersionCommand, proxyUDPv6), uint16(36+tlvLen))
-		f, t := source.Addr().As16(), destination.Addr().As16()
-		b = append(append(b, f[:]...), t[:]...)
+		b = append(b, proxyVersionCommand, proxyUDPv6)
+		b = binary.BigEndian.AppendUint16(b, uint16(proxyIPv6Len+tlvLen))
+		from16, to16 := source.Addr().As16(), destination.Addr().As16()
+		b = append(b, from16[:]...)
+		b = append(b, to16[:]...)
 	}
 	b = binary.BigEndian.AppendUint16(b, source.Port())
 	b = binary.BigEndian.AppendUint16(b, destination.Port())
 	if tlvLen > 0 {
-		b = append(b, tlvFlowRef, 0, 8)
+		b = append(b, tlvFlowRef, 0, flowRefLen)
 		b = binary.BigEndian.AppendUint32(b, uint32(ref.Index))
 		b = binary.BigEndian.AppendUint32(b, ref.Gen)
 	}
 	return b
 }
 
-// cutProxy reads a header and returns what follows it, and the flow's mark, with which Gen
-// is not 0. Other values behind the addresses are passed over.
+// parseProxyHeader reads a header and returns what follows it as rest. ref is the zero value
+// unless the header refers to a flow; other values behind the addresses are skipped. The
+// error is errProxyHeader.
 func parseProxyHeader(b []byte) (source, destination netip.AddrPort, ref flowtable.Ref, rest []byte, err error) {
-	if len(b) < proxyFixedLen || string(b[:len(proxySignature)]) != proxySignature || b[12] != proxyVersionCommand {
+	if !hasProxyPrefix(b) {
 		return source, destination, ref, nil, errProxyHeader
 	}
-	length := int(binary.BigEndian.Uint16(b[14:]))
+	length := int(binary.BigEndian.Uint16(b[proxyLengthOffset:]))
 	body := b[proxyFixedLen:]
 	if length > len(body) {
 		return source, destination, ref, nil, errProxyHeader
 	}
 	body, rest = body[:length], body[length:]
-	switch {
-	case b[13] == proxyUDPv4 && length >= 12:
+	var tlvs []byte
+	switch family := b[proxyFamilyOffset]; {
+	case family == proxyUDPv4 && length >= proxyIPv4Len:
 		source = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body)), binary.BigEndian.Uint16(body[8:]))
 		destination = netip.AddrPortFrom(netip.AddrFrom4([4]byte(body[4:])), binary.BigEndian.Uint16(body[10:]))
-		body = body[12:]
-	case b[13] == proxyUDPv6 && length >= 36:
+		tlvs = body[proxyIPv4Len:]
+	case family == proxyUDPv6 && length >= proxyIPv6Len:
 		source = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body)), binary.BigEndian.Uint16(body[32:]))
 		destination = netip.AddrPortFrom(netip.AddrFrom16([16]byte(body[16:])), binary.BigEndian.Uint16(body[34:]))
-		body = body[36:]
+		tlvs = body[proxyIPv6Len:]
 	default:
 		return source, destination, ref, nil, errProxyHeader
 	}
-	for len(body) >= 3 {
-		kind, size := body[0], int(binary.BigEndian.Uint16(body[1:]))
-		if size > len(body)-3 {
-			return source, destination, flowtable.Ref{}, nil, errProxyHeader
+	ref, err = parseFlowRef(tlvs)
+	if err != nil {
+		return source, destination, flowtable.Ref{}, nil, err
+	}
+	return source, destination, ref, rest, nil
+}
+
+func hasProxyPrefix(b []byte) bool {
+	return len(b) >= proxyFixedLen &&
+		string(b[:len(proxySignature)]) == proxySignature &&
+		b[proxyVersionOffset] == proxyVersionCommand
+}
+
+// parseFlowRef finds the last reference to a flow among the values behind the addresses.
+func parseFlowRef(tlvs []byte) (ref flowtable.Ref, err error) {
+	for len(tlvs) >= tlvHeaderLen {
+		kind := tlvs[0]
+		length := int(binary.BigEndian.Uint16(tlvs[1:]))
+		value := tlvs[tlvHeaderLen:]
+		if length > len(value) {
+			return flowtable.Ref{}, errProxyHeader
 		}
-		if kind == tlvFlowRef && size == 8 {
-			ref = flowtable.Ref{Index: int32(binary.BigEndian.Uint32(body[3:])), Gen: binary.BigEndian.Uint32(body[7:])}
+		if kind == tlvFlowRef && length == flowRefLen {
+			ref.Index = int32(binary.BigEndian.Uint32(value))
+			ref.Gen = binary.BigEndian.Uint32(value[4:])
 		}
-		body = body[3+size:]
+		tlvs = value[length:]
 	}
-	return source, destination, ref, rest, nil
+	return ref, nil
 }
--- a/internal/udp/segmenter.go
+++ b/internal/udp/segmenter.go
@@ -9,61 +9,73 @@
 )
 
 const (
-	// longestRun is how many datagrams the kernel cuts from one message, and largestRun
-	// how many bytes that may have.
-	maxSegments, maxSegmentedBytes = 64, 60_000
-	// largestCut is the largest datagram that is cut: beyond the smallest way there the
-	// kernel refuses what it would otherwise split.
+	// maxSegments is how many datagrams the kernel cuts from one message.
+	maxSegments = 64
+	// maxSegmentedBytes is how long a message of several datagrams may be.
+	maxSegmentedBytes = 60_000
+	// maxSegmentSize is the largest datagram that is joined with others, in bytes. Above the
+	// path's MTU the kernel refuses to segment what it would otherwise fragment.
 	maxSegmentSize = 1200
+	// segmentSizeLen is the length of the segment size in the control message.
+	segmentSizeLen = 2
 )
 
-// runs joins datagrams of one size that stand in a row into one message, which the kernel
-// cuts again (UDP_SEGMENT): one way through its layers instead of many. The last of a run
-// may be shorter.
+var segmentControlLen = unix.CmsgSpace(segmentSizeLen)
+
+// segmenter joins datagrams of one size that follow each other into one message, which the
+// kernel cuts again (generic segmentation offload, UDP_SEGMENT): one pass through the network
+// stack instead of many. The last datagram of a message may be shorter.
 type segmenter struct {
-	disabled  bool           // they can't be cut on the way there
-	datagrams []ipv4.Message // the datagrams
+	disabled  bool           // the route can't segment
+	datagrams []ipv4.Message // of the batch
 	starts    []int          // of each message: its first datagram
 	messages  []ipv4.Message
 	buffers   [][]byte
 	control   []byte
 }
 
-var segmentControlLen = unix.CmsgSpace(2)
-
-// join returns a batch with its runs joined. It is good until the next call.
-func (r *segmenter) join(datagrams []ipv4.Message) []ipv4.Message {
-	r.datagrams, r.starts, r.messages, r.buffers = datagrams, r.starts[:0], r.messages[:0], r.buffers[:0]
-	if r.control == nil {
-		r.control = make([]byte, batchSize*segmentControlLen)
+// join returns the messages for a batch. They are valid until the next call.
+func (s *segmenter) join(datagrams []ipv4.Message) []ipv4.Message {
+	s.datagrams = datagrams
+	s.starts, s.messages, s.buffers = s.starts[:0], s.messages[:0], s.buffers[:0]
+	if s.control == nil {
+		s.control = make([]byte, batchSize*segmentControlLen)
 	}
 	for i := 0; i < len(datagrams); {
-		firstBuffer, count := len(r.buffers), r.runLength(datagrams[i:])
-		r.starts = append(r.starts, i)
-		for _, m := range datagrams[i : i+count] {
-			r.buffers = append(r.buffers, m.Buffers...)
-		}
-		m := ipv4.Message{Buffers: r.buffers[firstBuffer:len(r.buffers):len(r.buffers)]}
-		if count > 1 {
-			m.OOB = segmentControl(r.control[len(r.messages)*segmentControlLen:][:segmentControlLen], messageSize(&datagrams[i]))
-		}
-		r.messages = append(r.messages, m)
+		count := s.runLength(datagrams[i:])
+		s.starts = append(s.starts, i)
+		s.appendMessage(datagrams[i : i+count])
 		i += count
 	}
-	return r.messages
+	return s.messages
+}
+
+// appendMessage appends one message for one or several datagrams.
+func (s *segmenter) appendMessage(joined []ipv4.Message) {
+	firstBuffer := len(s.buffers)
+	for i := range joined {
+		s.buffers = append(s.buffers, joined[i].Buffers...)
+	}
+	end := len(s.buffers)
+	message := ipv4.Message{Buffers: s.buffers[firstBuffer:end:end]}
+	if len(joined) > 1 {
+		control := s.control[len(s.messages)*segmentControlLen:][:segmentControlLen]
+		message.OOB = putSegmentSize(control, messageSize(&joined[0]))
+	}
+	s.messages = append(s.messages, message)
 }
 
-// run is how many datagrams at the begin of a list go into one message.
-func (r *segmenter) runLength(datagrams []ipv4.Message) (count int) {
-	first := messageSize(&datagrams[0])
-	if r.disabled || first == 0 || first > maxSegmentSize {
+// runLength is how many datagrams at the beginning of a batch go into one message.
+func (s *segmenter) runLength(datagrams []ipv4.Message) (count int) {
+	segmentSize := messageSize(&datagrams[0])
+	if s.disabled || segmentSize == 0 || segmentSize > maxSegmentSize {
 		return 1
 	}
-	for count = 1; count < min(len(datagrams), maxSegments) && (count+1)*first <= maxSegmentedBytes; count++ {
+	for count = 1; count < min(len(datagrams), maxSegments) && (count+1)*segmentSize <= maxSegmentedBytes; count++ {
 		switch next := messageSize(&datagrams[count]); {
-		case next == first:
-		case next > 0 && next < first:
-			return count + 1 // a shorter one ends it
+		case next == segmentSize:
+		case next > 0 && next < segmentSize:
+			return count + 1 // a shorter one is the last
 		default:
 			return count
 		}
@@ -71,34 +83,36 @@
 	return count
 }
 
-// length is how many datagrams are in one of the messages.
-func (r *segmenter) datagramsIn(message int) int {
-	end := len(r.datagrams)
-	if message+1 < len(r.starts) {
-		end = r.starts[message+1]
+// datagramsIn is how many datagrams are joined in a message.
+func (s *segmenter) datagramsIn(message int) int {
+	end := len(s.datagrams)
+	if message+1 < len(s.starts) {
+		end = s.starts[message+1]
 	}
-	return end - r.starts[message]
+	return end - s.starts[message]
 }
 
-// part returns the datagrams from a message on, each by itself, and joins none any more.
-func (r *segmenter) splitFrom(message int) []ipv4.Message {
-	r.disabled = true
-	return r.join(r.datagrams[r.starts[message]:])
+// splitFrom returns the datagrams from a message on, each in a message of its own, and joins
+// no more datagrams from now on.
+func (s *segmenter) splitFrom(message int) []ipv4.Message {
+	s.disabled = true
+	return s.join(s.datagrams[s.starts[message]:])
 }
 
-// size is how long a message is.
+// messageSize is the length of a message in bytes.
 func messageSize(message *ipv4.Message) (total int) {
-	for _, b := range message.Buffers {
-		total += len(b)
+	for _, buffer := range message.Buffers {
+		total += len(buffer)
 	}
 	return total
 }
 
-// segment writes the control message that has the kernel cut a message.
-func segmentControl(control []byte, size int) []byte {
-	head := (*unix.Cmsghdr)(unsafe.Pointer(&control[0]))
-	head.Level, head.Type = unix.IPPROTO_UDP, unix.UDP_SEGMENT
-	head.SetLen(unix.CmsgLen(2))
-	binary.NativeEndian.PutUint16(control[unix.CmsgLen(0):], uint16(size))
+// putSegmentSize writes the control message that has the kernel cut a message into datagrams.
+func putSegmentSize(control []byte, segmentSize int) []byte {
+	header := (*unix.Cmsghdr)(unsafe.Pointer(&control[0]))
+	header.Level = unix.IPPROTO_UDP
+	header.Type = unix.UDP_SEGMENT
+	header.SetLen(unix.CmsgLen(segmentSizeLen))
+	binary.NativeEndian.PutUint16(control[unix.CmsgLen(0):], uint16(segmentSize))
 	return control
 }
--- /dev/null
+++ b/internal/udp/send.go
@@ -0,0 +1,138 @@
+package udp
+
+import (
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"coralrelay/balance"
+	"coralrelay/internal/flowtable"
+)
+
+// writeTimeout is how long a batch may wait for space in a socket's buffer. The listener's lock
+// is held meanwhile, so that what is late is dropped rather than delaying all other flows.
+const writeTimeout = 10 * time.Millisecond
+
+// send writes one datagram to a flow's endpoint, or has flush write it with the batch. Both
+// happen under the lock that canSend was asked under: a drain that is announced in between is
+// seen before the next write.
+func (l *Listener) send(flow *binding, target *placement, datagram []byte) {
+	target.socket.health.evidence.Sent(l.batchTime)
+	if l.options.SharedSockets {
+		l.appendPending(flow, target, datagram)
+	} else {
+		l.writeNow(flow, target, datagram)
+	}
+}
+
+// writeNow writes a datagram to the flow's own socket.
+func (l *Listener) writeNow(flow *binding, target *placement, datagram []byte) {
+	if l.options.ProxyHeader {
+		withHeader := make([]byte, 0, maxProxyHeaderLen+len(datagram))
+		withHeader = appendProxyHeader(withHeader, flow.client, l.addr, flowtable.Ref{})
+		datagram = append(withHeader, datagram...)
+	}
+	_, err := target.socket.conn.Write(datagram)
+	if err == nil {
+		l.Counts.Forwarded.Add(1)
+		return
+	}
+	l.Counts.Unsent.Add(1)
+	if isRefused(err) { // else it was too large or there were no buffers: the flow goes on
+		l.replacePlacement(target, balance.Reset)
+	}
+}
+
+// appendPending adds a datagram to the batch of a shared socket.
+func (l *Listener) appendPending(flow *binding, target *placement, datagram []byte) {
+	socket := target.socket
+	index := len(socket.pending)
+	message := socket.nextPending()
+	if l.options.ProxyHeader {
+		if index == len(socket.headers) {
+			socket.headers = append(socket.headers, [maxProxyHeaderLen]byte{})
+		}
+		header := appendProxyHeader(socket.headers[index][:0], flow.client, l.addr, target.ref)
+		message.Buffers = append(message.Buffers, header)
+	}
+	message.Buffers = append(message.Buffers, datagram)
+	if !socket.flushPending {
+		socket.flushPending = true
+		l.unflushed = append(l.unflushed, socket)
+	}
+	if index+1 == batchSize {
+		l.writePending(socket)
+	}
+}
+
+// nextPending adds a message without buffers to the batch. It reuses those of earlier batches.
+func (s *upstreamSocket) nextPending() *ipv4.Message {
+	index := len(s.pending)
+	if index < cap(s.pending) {
+		s.pending = s.pending[:index+1]
+	} else {
+		s.pending = append(s.pending, ipv4.Message{Buffers: make([][]byte, 0, 2)})
+	}
+	message := &s.pending[index]
+	message.Buffers = message.Buffers[:0]
+	return message
+}
+
+// flush writes the batches of all shared sockets.
+func (l *Listener) flush() {
+	unflushed := l.unflushed
+	l.unflushed = l.unflushed[:0]
+	for _, socket := range unflushed {
+		socket.flushPending = false
+		l.writePending(socket)
+	}
+}
+
+// writePending writes the batch of one shared socket. A refusal replaces all flows there.
+func (l *Listener) writePending(socket *upstreamSocket) {
+	if len(socket.pending) == 0 {
+		return
+	}
+	pending := socket.pending
+	socket.pending = socket.pending[:0]
+	socket.extendWriteDeadline()
+	if refused := l.writeMessages(socket, pending); refused {
+		l.replaceFlowsOf(socket.health)
+	}
+}
+
+// extendWriteDeadline leaves each batch writeTimeout at least. It sets the deadline for several
+// batches at once, since that costs as much as a datagram.
+func (s *upstreamSocket) extendWriteDeadline() {
+	now := time.Now()
+	if now.Add(writeTimeout).After(s.writeDeadline) {
+		s.writeDeadline = now.Add(2 * writeTimeout)
+		_ = s.conn.SetWriteDeadline(s.writeDeadline)
+	}
+}
+
+// writeMessages writes a batch, counts its datagrams and returns whether the endpoint refused any.
+func (l *Listener) writeMessages(socket *upstreamSocket, pending []ipv4.Message) (refused bool) {
+	segmenter := &socket.segmenter
+	messages := segmenter.join(pending)
+	for next := 0; next < len(messages); {
+		written, err := socket.packets.WriteBatch(messages[next:], 0)
+		for range written { // none if it is negative
+			l.Counts.Forwarded.Add(int64(segmenter.datagramsIn(next)))
+			next++
+		}
+		if err == nil || next == len(messages) {
+			continue
+		}
+		datagrams := segmenter.datagramsIn(next)
+		if isRefused(err) {
+			refused = true // an ICMP error for an earlier write; this message would reach nobody either
+		} else if datagrams > 1 { // the route can't segment, it seems
+			messages, next = segmenter.splitFrom(next), 0
+			continue
+		}
+		l.Counts.Unsent.Add(int64(datagrams)) // or too large, or no buffers: only this message is lost
+		next++
+	}
+	return refused
+}
--- a/internal/udp/sourceports.go
+++ b/internal/udp/sourceports.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -10,32 +11,51 @@
 	"syscall"
 )
 
-// ports are those that sockets to next hops come from, in turn: one that was given back
-// comes again only after all others. Left to the kernel, which draws them, the next flow
-// to the same next hop may get the port of one that has just expired, and with it the
-// answer that was still on its way to that.
-type sourcePorts struct{ first, count, next int }
+// The range of source ports where the machine does not say.
+const (
+	defaultFirstPort = 32768
+	defaultPortCount = 28232
+)
+
+// maxPortAttempts bounds how many ports in a row may be in use by others.
+const maxPortAttempts = 256
+
+var errNoFreePort = errors.New("no free port")
 
-// newPorts takes one of n parts of the machine's range for such ports.
+// sourcePorts are the source ports of upstream sockets, used in turn: a released port is used
+// again only after all others. The kernel draws ports at random; the next flow to the same
+// endpoint might get the port of one that has just expired, and with it that one's late replies.
+type sourcePorts struct {
+	first int
+	count int
+	next  int // offset from first
+}
+
+// newSourcePorts takes one of several equal parts of the machine's range of local ports.
 func newSourcePorts(part, parts int) sourcePorts {
-	ports := sourcePorts{first: 32768, count: 28232}
-	var first, last int
-	if raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range"); err == nil {
-		if parts, _ := fmt.Sscan(string(raw), &first, &last); parts == 2 && first > 0 && first <= last && last < 1<<16 {
-			ports.first, ports.count = first, last-first+1
-		}
-	}
-	ports.first, ports.count = ports.first+ports.count*part/parts, max(1, ports.count/parts)
+	ports := localPortRange()
+	ports.first += ports.count * part / parts
+	ports.count = max(1, ports.count/parts)
 	ports.next = rand.IntN(ports.count)
 	return ports
 }
 
-// tries bounds how many ports in a row may be somebody else's.
-const maxPortAttempts = 256
-
-var errNoFreePort = errors.New("no free port")
+func localPortRange() sourcePorts {
+	byDefault := sourcePorts{first: defaultFirstPort, count: defaultPortCount}
+	raw, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	if err != nil {
+		return byDefault
+	}
+	var first, last int
+	scanned, _ := fmt.Sscan(string(raw), &first, &last)
+	if scanned != 2 || first <= 0 || first > last || last > math.MaxUint16 {
+		return byDefault
+	}
+	return sourcePorts{first: first, count: last - first + 1}
+}
 
-// dial connects to an address from the next port that is free.
+// dial connects to an address from the next free port. It returns errNoFreePort after
+// maxPortAttempts ports that are in use.
 func (p *sourcePorts) dial(to netip.AddrPort) (*net.UDPConn, error) {
 	for range min(maxPortAttempts, p.count) {
 		from := net.UDPAddr{Port: p.first + p.next}
