udp: log messages in the field's terms, with component, endpoint and error

Nobody matches the old texts (grep over cmd, internal, docs, deploy). 'udp ended' stays as it is: internal/scenario reads all of its attributes as counts.

--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -43,7 +43,7 @@
 	}
 	conn, err := l.sourcePorts.dial(address)
 	if err != nil {
-		l.warnings.Warn("udp: socket for echoes", "nexthop", endpointID, "err", err)
+		l.warnings.Warn("cannot open echo socket", "component", component, "endpoint", endpointID, "error", err)
 		return h
 	}
 	h.echoConn = conn
@@ -98,7 +98,8 @@
 		replaced := l.replaceFlowsOf(h)
 		h.evidence.FlowRemoved()
 		l.Counts.Silent.Add(int64(replaced))
-		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.endpointID, "flows", replaced)
+		slog.Warn("endpoint silent, its flows are replaced",
+			"component", component, "endpoint", h.endpointID, "flows", replaced)
 	}
 }
 
--- a/internal/udp/placement.go
+++ b/internal/udp/placement.go
@@ -129,7 +129,7 @@
 	}
 	socket, opened, err := l.acquireSocket(endpointID)
 	if err != nil {
-		l.warnings.Warn("udp: socket", "nexthop", endpointID, "err", err)
+		l.warnings.Warn("cannot open upstream socket", "component", component, "endpoint", endpointID, "error", err)
 		return false
 	}
 	starting.socket, starting.endpointID = socket, endpointID
--- a/internal/udp/receive.go
+++ b/internal/udp/receive.go
@@ -35,7 +35,7 @@
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			l.warnings.Warn("udp: read", "err", err)
+			l.warnings.Warn("cannot read datagrams", "component", component, "error", err)
 			time.Sleep(readRetryInterval)
 			continue
 		}
