--- a/internal/flowtable/liveness_test.go
+++ b/internal/flowtable/liveness_test.go
@@ -5,72 +5,91 @@
 	"time"
 )
 
+// history is what happened with an endpoint, and the time up to now.
+type history struct {
+	evidence LivenessEvidence
+	now      time.Duration
+}
+
+// answered adds datagrams that were answered, 10 ms apart.
+func (h *history) answered(datagrams int) {
+	for range datagrams {
+		h.evidence.Sent(h.now)
+		h.evidence.Received()
+		h.now += 10 * time.Millisecond
+	}
+}
+
+// unanswered adds datagrams that were not answered.
+func (h *history) unanswered(datagrams int, interval time.Duration) {
+	for range datagrams {
+		h.evidence.Sent(h.now)
+		h.now += interval
+	}
+}
+
+// probed adds the result of a probe.
+func (h *history) probed(at time.Duration, ok bool) {
+	h.evidence.ProbeAnswered(at, ok)
+	h.now = at
+}
+
 func TestIsSilent(t *testing.T) {
 	const s = time.Second
-	o := SilenceOptions{After: 3 * s, Datagrams: 10}
-	answers := func(e *LivenessEvidence, n int, from time.Duration) time.Duration {
-		for range n {
-			e.Sent(from)
-			e.Received()
-			from += 10 * time.Millisecond
-		}
-		return from
+	standard := SilenceOptions{After: 3 * s, Datagrams: 10}
+	type testCase struct {
+		options SilenceOptions
+		play    func(h *history)
+		want    bool
 	}
-	mute := func(e *LivenessEvidence, n int, from, each time.Duration) time.Duration {
-		for range n {
-			e.Sent(from)
-			from += each
+	stops := func(datagrams int, interval time.Duration) func(h *history) {
+		return func(h *history) {
+			h.answered(100)
+			h.unanswered(datagrams, interval)
 		}
-		return from
 	}
-	for name, c := range map[string]struct {
-		o    SilenceOptions
-		play func(e *LivenessEvidence) time.Duration // returns when it is looked at
-		want bool
-	}{
-		"nothing known":           {o, func(e *LivenessEvidence) time.Duration { return time.Hour }, false},
-		"never answers":           {o, func(e *LivenessEvidence) time.Duration { return mute(e, 1000, 0, s/100) }, false},
-		"answers":                 {o, func(e *LivenessEvidence) time.Duration { return answers(e, 1000, 0) }, false},
-		"stops":                   {o, func(e *LivenessEvidence) time.Duration { return mute(e, 40, answers(e, 100, 0), s/10) }, true},
-		"stops, at full speed":    {o, func(e *LivenessEvidence) time.Duration { return mute(e, 40_000, answers(e, 100, 0), s/10_000) }, true},
-		"stops, too short":        {o, func(e *LivenessEvidence) time.Duration { return mute(e, 40, answers(e, 100, 0), s/20) }, false},
-		"stops, too few":          {o, func(e *LivenessEvidence) time.Duration { return mute(e, 9, answers(e, 100, 0), s) }, false},
-		"stops and comes back":    {o, func(e *LivenessEvidence) time.Duration { return answers(e, 1, mute(e, 40, answers(e, 100, 0), s/10)) }, false},
-		"too new to have a habit": {o, func(e *LivenessEvidence) time.Duration { return mute(e, 40, answers(e, 10, 0), s) }, false},
-		"answers some": {o, func(e *LivenessEvidence) time.Duration {
-			at := s
-			for range 50 {
-				at = mute(e, 4, answers(e, 1, at), s/100)
-			}
-			return mute(e, 40, at, s)
-		}, false},
-		"quiet, and so its flows": {o, func(e *LivenessEvidence) time.Duration { return answers(e, 100, 0) + time.Hour }, false},
-		"health fails": {o, func(e *LivenessEvidence) time.Duration {
-			e.ProbeAnswered(s, false)
-			e.ProbeAnswered(2*s, false)
-			return 4 * s
-		}, true},
-		"health fails, too short": {o, func(e *LivenessEvidence) time.Duration { e.ProbeAnswered(s, false); return 3 * s }, false},
-		"health fails and is back": {o, func(e *LivenessEvidence) time.Duration {
-			e.ProbeAnswered(s, false)
-			e.ProbeAnswered(2*s, true)
-			return 9 * s
-		}, false},
-		"hung, but healthy": {o, func(e *LivenessEvidence) time.Duration {
-			at := mute(e, 40, answers(e, 100, 0), s/10)
-			e.ProbeAnswered(at, true)
-			return at
-		}, true},
-		"a new habit": {o, func(e *LivenessEvidence) time.Duration { return mute(e, 100, answers(e, 5000, mute(e, 900, 0, 0)), s) }, true},
-		"off": {SilenceOptions{}, func(e *LivenessEvidence) time.Duration {
-			e.ProbeAnswered(0, false)
-			return mute(e, 40, answers(e, 100, 0), s)
-		}, false},
-		"answers do not count": {SilenceOptions{After: 3 * s}, func(e *LivenessEvidence) time.Duration { return mute(e, 40, answers(e, 100, 0), s) }, false},
+	for name, test := range map[string]testCase{
+		"nothing known":        {standard, func(h *history) { h.now = time.Hour }, false},
+		"never answers":        {standard, func(h *history) { h.unanswered(1000, s/100) }, false},
+		"answers":              {standard, func(h *history) { h.answered(1000) }, false},
+		"stops":                {standard, stops(40, s/10), true},
+		"stops, at full speed": {standard, stops(40_000, s/10_000), true},
+		"stops, too short":     {standard, stops(40, s/20), false},
+		"stops, too few":       {standard, stops(9, s), false},
+		"stops and comes back": {standard, func(h *history) { stops(40, s/10)(h); h.answered(1) }, false},
+		"sample too small":     {standard, func(h *history) { h.answered(10); h.unanswered(40, s) }, false},
+		"answers some":         {standard, answersSome, false},
+		"idle, as its flows":   {standard, func(h *history) { h.answered(100); h.now += time.Hour }, false},
+		"probes fail": {standard,
+			func(h *history) { h.probed(s, false); h.probed(2*s, false); h.now = 4 * s }, true},
+		"probes fail, too short": {standard,
+			func(h *history) { h.probed(s, false); h.now = 3 * s }, false},
+		"probes fail and recover": {standard,
+			func(h *history) { h.probed(s, false); h.probed(2*s, true); h.now = 9 * s }, false},
+		"hung, but probes succeed": {standard,
+			func(h *history) { stops(40, s/10)(h); h.probed(h.now, true) }, true},
+		"starts answering, then stops": {standard,
+			func(h *history) { h.unanswered(900, 0); h.answered(5000); h.unanswered(100, s) }, true},
+		"check is off": {SilenceOptions{},
+			func(h *history) { h.evidence.ProbeAnswered(0, false); stops(40, s)(h) }, false},
+		"answers are ignored": {SilenceOptions{After: 3 * s}, stops(40, s), false},
 	} {
-		var e LivenessEvidence
-		if now := c.play(&e); e.IsSilent(now, c.o) != c.want {
-			t.Errorf("%s: silent is %v at %v", name, !c.want, now)
-		}
+		t.Run(name, func(t *testing.T) {
+			var h history
+			test.play(&h)
+			if got := h.evidence.IsSilent(h.now, test.options); got != test.want {
+				t.Errorf("silent is %v at %v", got, h.now)
+			}
+		})
+	}
+}
+
+// answersSome is an endpoint that answers a fifth of its datagrams, and then none.
+func answersSome(h *history) {
+	h.now = time.Second
+	for range 50 {
+		h.answered(1)
+		h.unanswered(4, time.Second/100)
 	}
+	h.unanswered(40, time.Second)
 }
