--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		replaced := l.replaceFlowsOf(h)
-		h.evidence.FlowRemoved()
+		h.evidence.FlowsReplaced()
 		l.Counts.Silent.Add(int64(replaced))
 		slog.Warn("endpoint silent, its flows are replaced",
 			"component", component, "endpoint", h.endpointID, "flows", replaced)
