--- /dev/null
+++ b/internal/udp/sharedsocket_test.go
@@ -0,0 +1,101 @@
+package udp
+
+import (
+	"fmt"
+	"testing"
+)
+
+// Over shared sockets a reply reaches a client only while its flow is bound to the endpoint
+// that sends it, and without a header nobody.
+func TestSharedSocketDropsUnmatchedReplies(t *testing.T) {
+	listener, dispatcher, endpoints := startListener(t, withSharedSockets)
+	one, two := dial(t, listener), dial(t, listener)
+	one.send("1")
+	one.expect("a:1")
+	dispatcher.placeAt("b")
+	two.send("1")
+	two.expect("b:1")
+
+	socketAddresses := listener.sharedSocketAddresses()
+	sendRaw := func(endpointID string, datagram []byte) {
+		t.Helper()
+		if _, err := endpoints.conns[endpointID].WriteToUDPAddrPort(datagram, socketAddresses[endpointID]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	sendReply := func(endpointID string, to testClient, payload string) {
+		t.Helper()
+		client := to.localAddrPort()
+		header := appendProxyHeader(nil, client, listener.Addr(), listener.refOfClient(client))
+		sendRaw(endpointID, append(header, payload...))
+	}
+	unmatched := &listener.Counts.UnmatchedReplies
+	expectUnmatched := func(want int64) {
+		t.Helper()
+		eventually(t, "the unmatched reply is counted", func() bool { return unmatched.Load() == want })
+	}
+
+	sendReply("b", one, "bound to a")
+	expectUnmatched(1)
+	sendRaw("a", []byte("no header"))
+	expectUnmatched(2)
+	sendRaw("a", make([]byte, 3*typicalDatagramSize))
+	expectUnmatched(3)
+	sendReply("a", dial(t, listener), "to a client that has sent nothing")
+	expectUnmatched(4)
+	sendReply("a", one, "unasked")
+	one.expect("unasked")
+	stale := listener.refOfClient(one.localAddrPort())
+	stale.Gen-- // an earlier flow of the same table entry and client
+	sendRaw("a", append(appendProxyHeader(nil, one.localAddrPort(), listener.Addr(), stale), "stale"...))
+	expectUnmatched(5)
+
+	endpoints.setDraining("a")
+	one.send("2") // is placed at b
+	one.expect("b:2")
+	if n := unmatched.Load(); n != 5 {
+		t.Errorf("%d unmatched replies", n)
+	}
+	if open := listener.sharedSocketAddresses(); len(open) != 1 {
+		t.Errorf("sockets to %v", open)
+	}
+}
+
+// Many flows share one socket, and a batch arrives whole and in order. A datagram that is too
+// large with its header is lost alone.
+func TestSharedSocketWritesBatchesInOrder(t *testing.T) {
+	const (
+		perClient = 5
+		burst     = 20 // clients; the sockets' buffers hold some 200 datagrams
+	)
+	listener, _, endpoints := startListener(t, withSharedSockets.and(func(options *Options) {
+		options.Sockets = 2
+		options.Table.Entries = 500
+		options.NewFlows.Burst = 500
+		options.FlowQueue.Count = 100
+		options.QueueBudget.Count = 1000
+	}))
+	clients := make([]testClient, 100)
+	for i := range clients {
+		clients[i] = dial(t, listener)
+		for n := range perClient {
+			clients[i].send(fmt.Sprintf("%d.%d", i, n))
+		}
+		if started := i + 1; started%burst == 0 {
+			eventually(t, "they arrive", func() bool { return endpoints.count("a") == perClient*started })
+		}
+	}
+	clients[7].send(string(make([]byte, maxDatagramSize)))
+	clients[7].send("after")
+	for i, client := range clients {
+		for n := range perClient {
+			client.expect(fmt.Sprintf("a:%d.%d", i, n))
+		}
+	}
+	clients[7].expect("a:after")
+	open, unsent := listener.sharedSocketAddresses(), listener.Counts.Unsent.Load()
+	if arrived := endpoints.count("a"); len(open) != 1 || unsent != 1 || arrived != 501 {
+		t.Errorf("sockets to %v, %d unsent, %d arrived", open, unsent, arrived)
+	}
+	checkBalance(t, &listener.Counts)
+}
