--- a/internal/flowtable/doc.go
+++ b/internal/flowtable/doc.go
@@ -6,5 +6,5 @@
 // The package does no I/O, reads no clock and starts no goroutine. Time is an argument: a
 // duration since any fixed moment. Nothing is allocated for a datagram of a known flow. No
 // type may be used by more than one goroutine at a time, and no operation returns an error:
-// a flow or datagram that is turned away is told by a Verdict, a bool or a callback.
+// a rejected flow or dropped datagram shows as a Verdict, a bool or a call of a callback.
 package flowtable
--- a/internal/udp/forward_test.go
+++ b/internal/udp/forward_test.go
@@ -152,7 +152,7 @@
 		dispatcher.mu.Unlock()
 		endpoints.setDraining("a")
 		listener.EndpointsChanged()
-		establishInTurn(t, listener, dispatcher.submissions(), func(established int) {
+		establishAlternately(t, listener, dispatcher.submissions(), func(established int) {
 			if established%burstSize == 0 {
 				eventually(t, "they arrive", func() bool { return endpoints.count("b") == established })
 			}
@@ -171,8 +171,8 @@
 	})
 }
 
-// establishInTurn starts attempts at a and b in turn.
-func establishInTurn(t *testing.T, listener *Listener, placements []dispatch.Placement, started func(int)) {
+// establishAlternately starts attempts at a and b by turns.
+func establishAlternately(t *testing.T, listener *Listener, placements []dispatch.Placement, started func(int)) {
 	t.Helper()
 	for i, placement := range placements {
 		endpointID := []string{"a", "b"}[i%2]
--- a/internal/udp/listener.go
+++ b/internal/udp/listener.go
@@ -120,7 +120,7 @@
 func (l *Listener) elapsed() time.Duration { return time.Since(l.start) }
 
 // Serve forwards datagrams until ctx ends. Then it ends all placements, closes its sockets and
-// returns when its goroutines have ended and the dispatcher has been told.
+// returns when its goroutines have ended and the dispatcher knows of it.
 func (l *Listener) Serve(ctx context.Context) {
 	stopClosing := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stopClosing()
--- a/internal/udp/proxyheader.go
+++ b/internal/udp/proxyheader.go
@@ -11,7 +11,7 @@
 var errProxyHeader = errors.New("no PROXY v2 header for UDP")
 
 // The PROXY protocol, version 2 (haproxy.org, proxy-protocol.txt, section 2.2), for
-// datagrams: a header in front of each tells the endpoint its client.
+// datagrams: a header before each names its client to the endpoint.
 const (
 	proxySignature      = "\r\n\r\n\x00\r\nQUIT\n"
 	proxyVersionCommand = 0x21 // version 2, command PROXY
--- a/internal/udp/segmenter_test.go
+++ b/internal/udp/segmenter_test.go
@@ -77,7 +77,7 @@
 }
 
 // Bursts of datagrams of many sizes go through, and joined ones arrive as they were sent.
-func TestSegmentedDatagramsArriveWhole(t *testing.T) {
+func TestSegmentedDatagramsArriveUnchanged(t *testing.T) {
 	listener, _, endpoints := startListener(t, withSharedSockets.and(func(options *Options) {
 		options.ProxyHeader = false
 		options.FlowQueue.Count, options.FlowQueue.Bytes = 100, 1<<20
