--- a/internal/flowtable/liveness.go
+++ b/internal/flowtable/liveness.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// FlowRemoved records that the endpoint's flows were moved elsewhere: their unanswered
+// FlowsReplaced records that the endpoint's flows were moved elsewhere: their unanswered
 // datagrams and failed probes no longer count, its answered share still does.
 func (e *LivenessEvidence) FlowsReplaced() {
 	e.unanswered = 0
