--- a/internal/flowtable/sources.go
+++ b/internal/flowtable/sources.go
@@ -5,70 +5,65 @@
 	"time"
 )
 
-// SourceOptions bound how fast one source may bring new flows.
+// ipv6PrefixBytes is the part of an IPv6 address that identifies a source: its /64 network.
+const ipv6PrefixBytes = 8
+
+// SourceOptions limit how fast one source may open new flows.
 type SourceOptions struct {
-	Slots int     // of the structure; at least 2
-	Rate  float64 // new flows a second, for each source; 0 for no bound
-	Burst float64 // that may come at once
+	Slots int     // how many token buckets there are; at least 2
+	Rate  float64 // new flows a second of each source; 0 for no limit
+	Burst float64 // new flows that may come at once
 	Seed  maphash.Seed
 }
 
-// Sources are token buckets for new flows in a structure of fixed size. A source is
-// an IPv4 address or an IPv6 prefix of 64 bits. Each has two slots, which it shares
-// with whoever falls into them too: it may go on while either has a token, so that a
-// source is held up by others only if floods drain both of its slots.
+// Sources limits the rate of new flows with a fixed number of token buckets. A source is
+// an IPv4 address or an IPv6 prefix of 64 bits. Each source has two buckets, which it shares
+// with other sources of the same hash, and takes from the fuller one: a source is rejected
+// on account of others only if these have drained both of its buckets.
 type Sources struct {
-	o     SourceOptions
-	slots []bucket
-}
-
-type bucket struct {
-	tokens float64
-	at     time.Duration
+	options SourceOptions
+	buckets []tokenBucket
 }
 
-// NewSources returns them, all full.
-func NewSources(o SourceOptions) *Sources {
-	s := &Sources{o: o, slots: make([]bucket, max(2, o.Slots))}
-	for i := range s.slots {
-		s.slots[i].tokens = o.Burst
+// NewSources returns a limiter whose buckets are full.
+func NewSources(options SourceOptions) *Sources {
+	s := &Sources{options: options, buckets: make([]tokenBucket, max(2, options.Slots))}
+	for i := range s.buckets {
+		s.buckets[i].tokens = options.Burst
 	}
 	return s
 }
 
-// Allow tells whether the source of a key may bring one more flow, and counts it.
-func (s *Sources) Allow(k Key, now time.Duration) bool {
-	if s.o.Rate <= 0 {
+// Allow reports whether the source of a key may open one more flow, and counts it if so.
+func (s *Sources) Allow(key Key, now time.Duration) bool {
+	if s.options.Rate <= 0 {
 		return true
 	}
-	source := k.Addr
-	if !isV4(source) {
-		clear(source[8:])
+	source := key.Addr
+	if !isMappedIPv4(source) {
+		clear(source[ipv6PrefixBytes:])
 	}
-	h := maphash.Comparable(s.o.Seed, source)
-	n := uint64(len(s.slots))
-	first := s.fill(h%n, now)
-	second := s.fill((h>>32)%n, now)
-	if first.tokens < second.tokens {
-		first = second
+	hash := maphash.Comparable(s.options.Seed, source)
+	count := uint64(len(s.buckets))
+	fuller := s.refill(hash%count, now)
+	second := s.refill((hash>>32)%count, now)
+	if fuller.tokens < second.tokens {
+		fuller = second
 	}
-	if first.tokens < 1 {
+	if fuller.tokens < 1 {
 		return false
 	}
-	first.tokens--
+	fuller.tokens--
 	return true
 }
 
-func (s *Sources) fill(slot uint64, now time.Duration) *bucket {
-	b := &s.slots[slot]
-	if now > b.at { // a clock that steps back gives nothing
-		b.tokens = min(s.o.Burst, b.tokens+s.o.Rate*(now-b.at).Seconds())
-		b.at = now
-	}
-	return b
+func (s *Sources) refill(i uint64, now time.Duration) *tokenBucket {
+	bucket := &s.buckets[i]
+	bucket.refill(now, s.options.Rate, s.options.Burst)
+	return bucket
 }
 
-// isV4 tells whether the address is an IPv4 one, written as ::ffff:a.b.c.d.
-func isV4(a [16]byte) bool {
-	return [12]byte(a[:12]) == [12]byte{10: 0xff, 11: 0xff}
+// isMappedIPv4 reports whether the address is an IPv4 one, written as ::ffff:a.b.c.d.
+func isMappedIPv4(address [16]byte) bool {
+	return [12]byte(address[:12]) == [12]byte{10: 0xff, 11: 0xff}
 }
