--- a/cmd/coralscenario/main.go
+++ b/cmd/coralscenario/main.go
@@ -196,7 +196,7 @@
 		}
 	}
 	switch err := k.Run(&c); {
-	case errors.Is(err, testbed.ErrBroken):
+	case errors.Is(err, testbed.ErrRulesBroken):
 		stop()
 		os.Exit(broken)
 	case err != nil:
--- a/internal/scenario/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -81,7 +81,7 @@
 		return nil, err
 	}
 	w := testbed.Options{Scenario: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
-		Mutation: o.Mutation, Progress: o.Progress, Ramp: 2 * time.Second, Window: 1500 * time.Millisecond, Hold: 3 * time.Second, Retries: 0.3}
+		Mutation: o.Mutation, Progress: o.Progress, Ramp: 2 * time.Second, BudgetWindow: 1500 * time.Millisecond, LeaseTimeout: 3 * time.Second, RetryRatio: 0.3}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
@@ -89,7 +89,7 @@
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(t.root.public())
 		f.Fleet.ReplicatedLog.Lease = operatorconfig.Duration{Duration: lease}
 	}
-	w.Clock = func(name string) time.Duration {
+	w.ClockOffset = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
 			return skew
 		}
@@ -116,7 +116,7 @@
 	}
 	s.watch = newWatchers(s.Agents)
 	defer s.watch.end()
-	s.Scaled = fmt.Sprintf("%d agents in %d zones, all on one machine; %d teams on two levels below %d accounts; a lease of %v; each agent is looked at every %v",
+	s.ScaledDown = fmt.Sprintf("%d agents in %d zones, all on one machine; %d teams on two levels below %d accounts; a lease of %v; each agent is looked at every %v",
 		o.Nodes, o.Zones, o.Teams, len(t.admins), lease, looks)
 	return s.Result, s.run(ctx, o.Steps)
 }
@@ -125,9 +125,9 @@
 func (s *scene) run(ctx context.Context, chosen []string) error {
 	defer s.writers.Wait()
 	defer func() { s.stop() }()
-	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "calm", Do: s.calm}, {Name: "leader", Do: s.leader},
-		{Name: "oneway", Do: s.oneWay}, {Name: "apart", Do: s.apart}, {Name: "disk", Do: s.disk}, {Name: "stall", Do: s.stall},
-		{Name: "many", Do: s.many}}, chosen)
+	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "calm", Run: s.calm}, {Name: "leader", Run: s.leader},
+		{Name: "oneway", Run: s.oneWay}, {Name: "apart", Run: s.apart}, {Name: "disk", Run: s.disk}, {Name: "stall", Run: s.stall},
+		{Name: "many", Run: s.many}}, chosen)
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/accounts/faults.go
+++ b/internal/scenario/accounts/faults.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.Agents[name].Disk(true); err != nil {
+	if err := s.Agents[name].SetDiskFull(true); err != nil {
 		return err
 	}
 	fake.Sleep(ctx, 2500*time.Millisecond)
@@ -165,7 +165,7 @@
 		s.AddViolation("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.DiskError))
 	}
 	s.mended(name)
-	if err := s.Agents[name].Disk(false); err != nil {
+	if err := s.Agents[name].SetDiskFull(false); err != nil {
 		return err
 	}
 	s.back(ctx, "disk", name)
--- a/internal/scenario/accounts/judge.go
+++ b/internal/scenario/accounts/judge.go
@@ -32,7 +32,7 @@
 			s.RequireAtLeast(figure, least)
 		}
 	}
-	share, all := s.Served(time.Now().Add(learning-s.Since()), time.Now())
+	share, all := s.ServedShare(time.Now().Add(learning-s.Elapsed()), time.Now())
 	s.SetMetric("served_beside_it", share)
 	if all > 0 && share < 0.9 {
 		s.AddViolation("served", fmt.Sprintf("%.3f of %d transactions were served beside it, want 0.9 at least", share, all))
--- a/internal/scenario/demo.go
+++ b/internal/scenario/demo.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	nodes := testbed.Nodes{n}
-	defer nodes.Terminate()
+	defer nodes.KillAll()
 	running, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -95,7 +95,7 @@
 		fmt.Fprintln(o.Out)
 	}
 	fmt.Fprintf(o.Out, "%g connections placed, %g busy answers, %g moved, node at %.1f MB\n", seen.Metric("UP"), seen.Metric("BUSY"),
-		seen.Metric("moved"), n.Resident()/1e6)
+		seen.Metric("moved"), n.ResidentMemory()/1e6)
 	if len(seen.Violations) > 0 {
 		return seen.Finish(o.Out, "")
 	}
--- a/internal/scenario/fleet.go
+++ b/internal/scenario/fleet.go
@@ -62,7 +62,7 @@
 		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	w := testbed.Options{Scenario: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, WithoutAgents: o.WithoutAgents, Binary: o.Binary,
-		Mutation: o.Mutation, Progress: o.Progress, Ramp: fleetRamp, Window: fleetWindow, Hold: fleetHold, Retries: fleetRetries}
+		Mutation: o.Mutation, Progress: o.Progress, Ramp: fleetRamp, BudgetWindow: fleetWindow, LeaseTimeout: fleetHold, RetryRatio: fleetRetries}
 	if o.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
@@ -85,14 +85,14 @@
 	}
 	defer built.Close()
 	s := &fleetScene{o, built}
-	s.Scaled = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
+	s.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		o.Nodes, fleetRamp, cutFor)
-	steps := []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "fall", Do: s.fall}, {Name: "lies", Do: s.lies},
-		{Name: "bad", Do: s.bad}, {Name: "full", Do: s.full}}
+	steps := []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "cold", Run: s.cold}, {Name: "fall", Run: s.fall}, {Name: "lies", Run: s.lies},
+		{Name: "bad", Run: s.bad}, {Name: "full", Run: s.full}}
 	if err := s.Play(ctx, steps, o.Steps); err != nil {
 		return nil, err
 	}
-	s.CountRetry()
+	s.CheckRetryBudget()
 	return s.Result, ctx.Err()
 }
 
--- a/internal/scenario/fleet_bad.go
+++ b/internal/scenario/fleet_bad.go
@@ -20,7 +20,7 @@
 	from := time.Now()
 	shunned := time.Duration(-1)
 	for time.Since(from) < 8*time.Second && shunned < 0 && fake.Sleep(ctx, 250*time.Millisecond) {
-		if now := time.Now(); now.Sub(from) > time.Second && s.Shares(now.Add(-time.Second), now)["s3"] < 0.35 {
+		if now := time.Now(); now.Sub(from) > time.Second && s.ServerShares(now.Add(-time.Second), now)["s3"] < 0.35 {
 			shunned = now.Sub(from)
 		}
 	}
@@ -35,7 +35,7 @@
 	fake.Sleep(ctx, 7*time.Second) // accusations are forgotten
 	from = time.Now()
 	fake.Sleep(ctx, 3*time.Second)
-	back := s.Shares(from, time.Now())["s3"]
+	back := s.ServerShares(from, time.Now())["s3"]
 	s.SetMetric("recovered_share", back)
 	if back < 0.5 {
 		s.AddViolation("verdict", fmt.Sprintf("a server that works again gets %.2f of its share", back))
--- a/internal/scenario/fleet_cold.go
+++ b/internal/scenario/fleet_cold.go
@@ -24,7 +24,7 @@
 		}
 	}
 	s.Proxy.SetBetween(s.Names, s.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Duplicate: 0.05})
-	s.Pace(wave)
+	s.SetRate(wave)
 	started, err := s.Join("cold", "a", true)
 	if err != nil {
 		return err
@@ -33,10 +33,10 @@
 	s.Proxy.SetBetween(cut, rest, faultproxy.Fault{Cut: true})
 	fake.Sleep(ctx, cutFor)
 	s.Proxy.Heal()
-	s.Pace(1)
+	s.SetRate(1)
 	fake.Sleep(ctx, time.Second)
-	most, _ := s.RequestsAgainst("cold", started, time.Now())
-	dealt := s.GrantedTokens("cold", started)
+	most, _ := s.BudgetUse("cold", started, time.Now())
+	dealt := s.EpochBudgetUse("cold", started)
 	s.SetMetric("cold_epoch_of_deal", dealt)
 	if !s.FleetOptions.WithoutAgents && dealt > testbed.ChanceAllowance {
 		s.AddViolation("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", dealt))
@@ -55,18 +55,18 @@
 func (s *fleetScene) fall(ctx context.Context, rng *mrand.Rand) error {
 	dead := rng.Perm(len(s.Names))[:len(s.Names)*5/7]
 	for _, i := range dead {
-		s.ServerFailed(s.Names[i])
+		s.KillMachine(s.Names[i])
 	}
 	// Failed is known some seconds later, and then the hold begins.
 	fake.Sleep(ctx, 8*time.Second+fleetHold)
-	s.Pace(wave)
+	s.SetRate(wave)
 	started, err := s.Join("late", "a", true)
 	if err != nil {
 		return err
 	}
-	fake.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond world.Chance
-	s.Pace(1)
-	most, mean := s.RequestsAgainst("late", started, time.Now())
+	fake.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond testbed.ChanceAllowance
+	s.SetRate(1)
+	most, mean := s.BudgetUse("late", started, time.Now())
 	s.Leave("late")
 	s.SetMetric("late_most_of_budget", most)
 	s.SetMetric("late_mean_of_budget", mean)
@@ -77,7 +77,7 @@
 		s.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, leastUse))
 	}
 	for _, i := range dead {
-		if err := s.RestartServer(ctx, s.Names[i]); err != nil {
+		if err := s.RestartMachine(ctx, s.Names[i]); err != nil {
 			return err
 		}
 	}
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet_lies.go
@@ -26,7 +26,7 @@
 	defer cancel()
 	accused := []string{"s0", "s1", "s2"}
 	speak := func(name string, number int, open bool) error {
-		bind, advertise, err := s.AddParty(name, number)
+		bind, advertise, err := s.AddProxiedAddress(name, number)
 		if err != nil {
 			return err
 		}
@@ -34,7 +34,7 @@
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
-			_ = a.Run(ctx, gossip.Config{BindAddress: bind, AdvertiseAddress: advertise, Peers: s.Peers(), KeyFile: s.Key, Unencrypted: open,
+			_ = a.Run(ctx, gossip.Config{BindAddress: bind, AdvertiseAddress: advertise, Peers: s.Peers(), KeyFile: s.KeyFile, Unencrypted: open,
 				Interval: 100 * time.Millisecond, LogOutput: io.Discard})
 		})
 		wg.Go(func() {
@@ -60,7 +60,7 @@
 	fake.Sleep(ctx, 4*time.Second)
 	from := time.Now()
 	fake.Sleep(ctx, 4*time.Second)
-	share := s.Shares(from, time.Now())
+	share := s.ServerShares(from, time.Now())
 	least := math.Inf(1)
 	for _, id := range accused {
 		least = min(least, share[id])
--- a/internal/scenario/flood.go
+++ b/internal/scenario/flood.go
@@ -28,7 +28,7 @@
 	if steady > many {
 		every *= 2
 	}
-	s.Scaled = fmt.Sprintf("%d steady flows, %d flooding senders on the node's own machine", steady, flooders)
+	s.ScaledDown = fmt.Sprintf("%d steady flows, %d flooding senders on the node's own machine", steady, flooders)
 	ctx, cancel := context.WithCancel(ctx)
 	var sent, came atomic.Int64
 	var wg sync.WaitGroup
--- a/internal/scenario/promises.go
+++ b/internal/scenario/promises.go
@@ -102,7 +102,7 @@
 	for _, s := range scenes[1:] {
 		s.beside(first)
 	}
-	first.Scaled = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, pace)
+	first.ScaledDown = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, pace)
 	return first.Result, nil
 }
 
@@ -113,8 +113,8 @@
 		return nil, err
 	}
 	w := testbed.Options{Scenario: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
-		Links: true, Loads: true, Binary: o.Binary, Agent: agent, Mutation: mutation,
-		Ramp: promisesRamp, Window: promisesWindow, Hold: 3 * time.Second, Retries: 0.3}
+		ProxyServers: true, ReportLoad: true, Binary: o.Binary, Agent: agent, Mutation: mutation,
+		Ramp: promisesRamp, BudgetWindow: promisesWindow, LeaseTimeout: 3 * time.Second, RetryRatio: 0.3}
 	if name == "" {
 		w.Progress = o.Progress
 	}
@@ -138,12 +138,12 @@
 	s := &promisesScene{SLOOptions: o, Testbed: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
 		parts: map[string][2]time.Time{}, unkept: map[string]string{}}
 	s.quick, s.second, s.small = w.Zones[1], w.Zones[0], w.Zones[2]
-	built.Pace(0.02) // the world's own clients are under no contract
+	built.SetRate(0.02) // the world's own clients are under no contract
 	for _, v := range built.ServersIn(s.small)[1:] {
 		built.Leave(v.Name)
 	}
 	s.slow(nil)
-	built.Slow = s.answersIn
+	built.AnswerDelay = s.answersIn
 	var servers []string
 	for _, v := range built.AllServers() {
 		servers = append(servers, v.Name)
--- a/internal/scenario/promises_steps.go
+++ b/internal/scenario/promises_steps.go
@@ -42,7 +42,7 @@
 		name string
 		do   func(context.Context) error
 	}{{"calm", s.calm}, {"slow", s.slower}, {"other", s.other}, {"left", s.left}} {
-		steps = append(steps, testbed.Phase{Name: step.name, Do: func(ctx context.Context, _ *mrand.Rand) error {
+		steps = append(steps, testbed.Phase{Name: step.name, Run: func(ctx context.Context, _ *mrand.Rand) error {
 			from := time.Now()
 			err := step.do(ctx)
 			s.mu.Lock()
@@ -51,7 +51,7 @@
 			return err
 		}})
 	}
-	return append([]testbed.Phase{{Name: "meet", Do: meet}}, steps...)
+	return append([]testbed.Phase{{Name: "meet", Run: meet}}, steps...)
 }
 
 // met tells whether all agents hear the record, at one index.
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume.go
@@ -79,7 +79,7 @@
 		feed:   fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
 		owners: map[string]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
 		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
-	r.Scaled = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
+	r.ScaledDown = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
 		int(time.Second/changeEvery))
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
@@ -90,7 +90,7 @@
 		return nil, err
 	}
 	defer s.roster.Close()
-	defer s.nodes.Terminate()
+	defer s.nodes.KillAll()
 	if err := s.play(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/scenario/resume_faults.go
+++ b/internal/scenario/resume_faults.go
@@ -57,7 +57,7 @@
 	case kind < 6:
 		if happens = free("killed", 4*time.Second) && free(server.Name, 8*time.Second); happens {
 			s.AddMetric("servers killed", 1)
-			wg.Go(func() { s.FailServer(ctx, s.roster, server, s.names, 200*time.Millisecond, 800*time.Millisecond) })
+			wg.Go(func() { s.BounceServer(ctx, s.roster, server, s.names, 200*time.Millisecond, 800*time.Millisecond) })
 		}
 	case kind < 8:
 		if happens = free("node", 4*time.Second); happens {
--- a/internal/scenario/resume_seen.go
+++ b/internal/scenario/resume_seen.go
@@ -13,7 +13,7 @@
 
 // Opened holds first lines to the drain rule.
 func (s *scene) Opened(o fake.Opened) {
-	s.HoldDrain(s.roster, o.Node, o.Server, o.Key, o.At)
+	s.CheckDrain(s.roster, o.Node, o.Server, o.Key, o.At)
 }
 
 // Started holds streams to the rule of one use.
--- a/internal/scenario/speed.go
+++ b/internal/scenario/speed.go
@@ -44,12 +44,12 @@
 // and all others are the rig's.
 func UDPSpeed(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
 	r := testbed.NewResult("udp speed", o.Seed)
-	r.Scaled = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
+	r.ScaledDown = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
 	o.Cores = max(o.Cores, 1)
 	apart, restore := pinned(o.Cores)
 	defer restore()
 	if !apart {
-		r.Scaled += "; too few processors to keep one for the forwarder"
+		r.ScaledDown += "; too few processors to keep one for the forwarder"
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -26,8 +26,8 @@
 func (w *Testbed) agent(n *Node, own *operatorconfig.File) *Agent {
 	p := &Process{Name: "agent " + n.Name, Binary: w.Agent, Dir: n.Dir, Log: "agent.log",
 		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + w.Mutation}}
-	if w.Clock != nil {
-		p.Args = append(p.Args, "--clock-offset="+w.Clock(n.Name).String())
+	if w.ClockOffset != nil {
+		p.Args = append(p.Args, "--clock-offset="+w.ClockOffset(n.Name).String())
 	}
 	return &Agent{Process: p, Addr: own.Fleet.Agent}
 }
@@ -36,7 +36,7 @@
 func (w *Testbed) member(name string, number int) (operatorconfig.File, error) {
 	own := operatorconfig.Default()
 	own.Log.Level = "warn"
-	bind, at, err := w.AddParty(name, number+1)
+	bind, at, err := w.AddProxiedAddress(name, number+1)
 	if err != nil || w.WithoutAgents {
 		return own, err
 	}
@@ -47,7 +47,7 @@
 		return own, err
 	}
 	zone := w.Zone(name)
-	if bind, at, err = w.AddParty(name, number+1); err != nil {
+	if bind, at, err = w.AddProxiedAddress(name, number+1); err != nil {
 		return own, err
 	}
 	own.Fleet.Zone = zone
@@ -60,7 +60,7 @@
 
 // Party opens a way through the relay for who speaks from a loopback address of its own: the
 // number says which, 1 to 250. It listens at bind and is reached at at.
-func (w *Testbed) AddParty(name string, number int) (bind, at string, err error) {
+func (w *Testbed) AddProxiedAddress(name string, number int) (bind, at string, err error) {
 	l, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", number))
 	if err != nil {
 		return "", "", err
@@ -75,7 +75,7 @@
 func (w *Testbed) Peers() []string { return w.peers }
 
 // Fell kills a node with its agent, as a machine that is lost.
-func (w *Testbed) ServerFailed(name string) {
+func (w *Testbed) KillMachine(name string) {
 	for _, n := range w.Nodes {
 		if n.Name == name {
 			n.Kill()
@@ -87,7 +87,7 @@
 }
 
 // Rise starts a node with its agent again.
-func (w *Testbed) RestartServer(ctx context.Context, name string) error {
+func (w *Testbed) RestartMachine(ctx context.Context, name string) error {
 	if a := w.Agents[name]; a != nil {
 		if err := a.Start(); err != nil {
 			return err
--- a/internal/scenario/testbed/cold.go
+++ b/internal/scenario/testbed/cold.go
@@ -9,12 +9,12 @@
 // budget is how many connections a server may be sent within a window, so long after its
 // start. A warm one can take what fills it: its usual share makes the usual load.
 func (w *Testbed) budget(age time.Duration) float64 {
-	return coldTimes * w.warm(age) * w.Rate / float64(w.Options.Servers) / UsualLoad * w.Window.Seconds()
+	return coldTimes * w.warm(age) * w.Rate / float64(w.Options.Servers) / UsualLoad * w.BudgetWindow.Seconds()
 }
 
 // Against returns the most that a server that began cold was sent in any window, as a
 // multiple of what it may be sent, and its mean over the time.
-func (w *Testbed) RequestsAgainst(server string, started, until time.Time) (most, mean float64) {
+func (w *Testbed) BudgetUse(server string, started, until time.Time) (most, mean float64) {
 	var at []time.Time
 	for _, l := range w.FirstLines(started, until) {
 		if l.Server == server {
@@ -26,28 +26,28 @@
 		if t.Sub(started) > w.Ramp {
 			break
 		}
-		for t.Sub(at[first]) > w.Window {
+		for t.Sub(at[first]) > w.BudgetWindow {
 			first++
 		}
 		most = max(most, float64(i-first+1)/w.budget(t.Sub(started)))
 	}
 	if span := until.Sub(started); span > 0 {
-		mean = float64(len(at)) / (span.Seconds() / w.Window.Seconds()) / w.budget(span/2)
+		mean = float64(len(at)) / (span.Seconds() / w.BudgetWindow.Seconds()) / w.budget(span/2)
 	}
 	return most, mean
 }
 
 // Dealt returns the most that a cold server was sent within one epoch, as a multiple of what
 // its members' parts come to: half of its budget, and a token of the fraction.
-func (w *Testbed) GrantedTokens(server string, started time.Time) (most float64) {
+func (w *Testbed) EpochBudgetUse(server string, started time.Time) (most float64) {
 	count := map[int64]float64{}
 	for _, l := range w.FirstLines(started, started.Add(w.Ramp)) {
 		if l.Server == server {
-			count[l.At.UnixNano()/int64(w.Window)]++
+			count[l.At.UnixNano()/int64(w.BudgetWindow)]++
 		}
 	}
 	for epoch, n := range count {
-		end := time.Unix(0, (epoch+1)*int64(w.Window)).Sub(started)
+		end := time.Unix(0, (epoch+1)*int64(w.BudgetWindow)).Sub(started)
 		most = max(most, n/(w.budget(end)/2+1))
 	}
 	return most
--- a/internal/scenario/testbed/load.go
+++ b/internal/scenario/testbed/load.go
@@ -22,10 +22,10 @@
 
 // Pace sets the rate, in multiples of the usual: what is more than usual are clients that come
 // again.
-func (w *Testbed) Pace(times float64) { w.pace(times, true) }
+func (w *Testbed) SetRate(times float64) { w.pace(times, true) }
 
 // Surge sets the rate likewise, of clients that come for the first time.
-func (w *Testbed) Surge(times float64) { w.pace(times, false) }
+func (w *Testbed) SetFirstVisitRate(times float64) { w.pace(times, false) }
 
 func (w *Testbed) pace(times float64, again bool) {
 	w.mu.Lock()
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -149,7 +149,7 @@
 }
 
 // Resident is the node's resident memory in bytes, 0 if it can't be told.
-func (n *Node) Resident() float64 {
+func (n *Node) ResidentMemory() float64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Process.Pid()))
 	var size, resident int64
 	if _, err2 := fmt.Sscan(string(raw), &size, &resident); err != nil || err2 != nil {
--- a/internal/scenario/testbed/nodes.go
+++ b/internal/scenario/testbed/nodes.go
@@ -35,7 +35,7 @@
 }
 
 // End ends all.
-func (ns Nodes) Terminate() {
+func (ns Nodes) KillAll() {
 	for _, n := range ns {
 		n.Kill()
 	}
--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -26,7 +26,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { w.load(ctx, &wg) })
-	if w.Loads {
+	if w.ReportLoad {
 		wg.Go(func() { w.report(ctx) })
 	}
 	rng := mrand.New(mrand.NewPCG(w.Options.Seed, 11))
@@ -35,9 +35,9 @@
 			continue
 		}
 		if w.Progress != nil {
-			fmt.Fprintf(w.Progress, "%5.1f s  %s\n", w.Since().Seconds(), step.Name)
+			fmt.Fprintf(w.Progress, "%5.1f s  %s\n", w.Elapsed().Seconds(), step.Name)
 		}
-		if err := step.Do(ctx, rng); err != nil || ctx.Err() != nil {
+		if err := step.Run(ctx, rng); err != nil || ctx.Err() != nil {
 			return cmp.Or(err, ctx.Err())
 		}
 	}
--- a/internal/scenario/testbed/proc.go
+++ b/internal/scenario/testbed/proc.go
@@ -75,7 +75,7 @@
 func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
 
 // Disk has every write of it to a file fail from now on, as on a full disk, or succeed again.
-func (p *Process) Disk(full bool) error {
+func (p *Process) SetDiskFull(full bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
--- a/internal/scenario/testbed/result.go
+++ b/internal/scenario/testbed/result.go
@@ -15,7 +15,7 @@
 )
 
 // ErrBroken is that a rule broke or a bound was missed.
-var ErrBroken = errors.New("rules broken")
+var ErrRulesBroken = errors.New("rules broken")
 
 // Violation is one broken rule.
 type Violation struct {
@@ -31,7 +31,7 @@
 	OK         bool               `json:"ok"`
 	Violations []Violation        `json:"violations"`
 	Metrics    map[string]float64 `json:"figures"`
-	Scaled     string             `json:"scaled"`
+	ScaledDown string             `json:"scaled"`
 
 	mu    sync.Mutex
 	begun time.Time
@@ -57,7 +57,7 @@
 }
 
 // Since is how long the scene has run.
-func (r *Result) Since() time.Duration { return time.Since(r.begun) }
+func (r *Result) Elapsed() time.Duration { return time.Since(r.begun) }
 
 // Add adds to a figure.
 func (r *Result) AddMetric(figure string, x float64) {
@@ -105,8 +105,8 @@
 	for _, v := range r.Violations[:min(len(r.Violations), most)] {
 		fmt.Fprintf(t, "    %d ms  %s: %s\n", v.AtMs, v.Rule, v.Detail)
 	}
-	if r.Scaled != "" {
-		fmt.Fprintf(t, "  scaled: %s\n", r.Scaled)
+	if r.ScaledDown != "" {
+		fmt.Fprintf(t, "  scaled: %s\n", r.ScaledDown)
 	}
 	verdict := "ok: all rules kept"
 	if !r.OK {
@@ -126,7 +126,7 @@
 		}
 	}
 	if !r.OK {
-		return ErrBroken
+		return ErrRulesBroken
 	}
 	return nil
 }
--- a/internal/scenario/testbed/rules.go
+++ b/internal/scenario/testbed/rules.go
@@ -19,7 +19,7 @@
 
 // HoldDrain holds what a server got to the drain rule: nothing new later than the
 // grace after that node was told.
-func (r *Result) HoldDrain(roster *fake.Discovery, node, server, what string, at time.Time) {
+func (r *Result) CheckDrain(roster *fake.Discovery, node, server, what string, at time.Time) {
 	told := roster.NotifiedAt(node, server)
 	if late := at.Sub(told); !told.IsZero() && late > DrainGrace+SocketDelay {
 		r.AddViolation("drain", fmt.Sprintf("%s got %s from %s %v after the node was told", server, what, node, late))
@@ -28,7 +28,7 @@
 
 // Fall ends a server as a killed one ends. The roster notices a while later; later
 // still it is back at its address, cold and with a numbering of its own.
-func (r *Result) FailServer(ctx context.Context, roster *fake.Discovery, v *fake.Server, nodes []string, noticed, back time.Duration) {
+func (r *Result) BounceServer(ctx context.Context, roster *fake.Discovery, v *fake.Server, nodes []string, noticed, back time.Duration) {
 	v.Kill()
 	fake.Sleep(ctx, noticed)
 	roster.Set(v.Name, fake.Left, time.Time{}, nil)
--- a/internal/scenario/testbed/seen.go
+++ b/internal/scenario/testbed/seen.go
@@ -16,17 +16,17 @@
 
 // Answer is a final answer as a client saw it.
 type ClientAnswer struct {
-	Node, Zone, Word string
-	Begun            time.Time
-	Took             time.Duration
+	Node, Zone, Reply string
+	StartedAt         time.Time
+	Took              time.Duration
 }
 
 // Opened is told of each first line.
 func (w *Testbed) Opened(o fake.Opened) {
-	if w.Slow != nil {
-		defer func() { time.Sleep(w.Slow(o.Server)) }()
+	if w.AnswerDelay != nil {
+		defer func() { time.Sleep(w.AnswerDelay(o.Server)) }()
 	}
-	w.HoldDrain(w.Discovery, o.Node, o.Server, o.Key, o.At)
+	w.CheckDrain(w.Discovery, o.Node, o.Server, o.Key, o.At)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lines = append(w.lines, FirstLine{o.Server, w.zones[o.Server], o.Node, o.Key, o.At})
@@ -58,7 +58,7 @@
 }
 
 // Shares is what each server got between two times, over the mean of all.
-func (w *Testbed) Shares(from, until time.Time) map[string]float64 {
+func (w *Testbed) ServerShares(from, until time.Time) map[string]float64 {
 	share, list := map[string]float64{}, w.FirstLines(from, until)
 	for _, l := range list {
 		share[l.Server]++
@@ -71,13 +71,13 @@
 
 // Served is the share of the transactions begun between two times that were served, and how
 // many there were.
-func (w *Testbed) Served(from, until time.Time) (share float64, all int) {
+func (w *Testbed) ServedShare(from, until time.Time) (share float64, all int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	up := 0
 	for _, a := range w.answers {
-		if !a.Begun.Before(from) && a.Begun.Before(until) {
-			if all++; a.Word == "UP" {
+		if !a.StartedAt.Before(from) && a.StartedAt.Before(until) {
+			if all++; a.Reply == "UP" {
 				up++
 			}
 		}
@@ -86,7 +86,7 @@
 }
 
 // Retried holds all first lines of the scene to the budget of retries.
-func (w *Testbed) CountRetry() {
+func (w *Testbed) CheckRetryBudget() {
 	w.mu.Lock()
 	firsts := map[string]bool{}
 	for _, l := range w.lines {
@@ -97,7 +97,7 @@
 	share := (all - float64(len(firsts))) / float64(max(len(firsts), 1))
 	w.SetMetric("retries_per_first", share)
 	w.SetMetric("transactions_sent", float64(len(firsts)))
-	if most := 2*w.Retries + 0.01; !w.WithoutAgents && share > most {
+	if most := 2*w.RetryRatio + 0.01; !w.WithoutAgents && share > most {
 		w.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
 	}
 	w.RequireAtLeast("transactions_sent", 300)
--- a/internal/scenario/testbed/servers.go
+++ b/internal/scenario/testbed/servers.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return started, err
 	}
-	if w.Links {
+	if w.ProxyServers {
 		w.Proxy.SetZone(name, zone)
 		addrs = maps.Clone(addrs) // the server goes by its own
 		for node, addr := range addrs {
--- a/internal/scenario/testbed/world.go
+++ b/internal/scenario/testbed/world.go
@@ -29,19 +29,19 @@
 	Voters         int      // the first so many agents decide what the record takes; 0 for no record
 	Rate           float64  // transactions a second in usual times
 	WithoutAgents  bool     // nodes have no agents
-	Links          bool     // nodes reach servers through the relay, too
-	Loads          bool     // servers report what they are asked; else a usual load
+	ProxyServers   bool     // nodes reach servers through the relay, too
+	ReportLoad     bool     // servers report what they are asked; else a usual load
 	Binary, Agent  string
 	Mutation       string // told to all processes
 	Progress       io.Writer
 
-	Ramp, Window time.Duration // of the settings' guarantees: rampTime and tipAfter, in seconds
-	Hold         time.Duration // fleet.hold
-	Retries      float64       // fleet.retries
+	Ramp, BudgetWindow time.Duration // of the settings' guarantees: rampTime and tipAfter, in seconds
+	LeaseTimeout       time.Duration // fleet.hold
+	RetryRatio         float64       // fleet.retries
 	// Own completes what a member's file says, nil for nothing more.
 	OperatorConfig func(name string, f *operatorconfig.File)
 	// Clock is how far the clock of a member's agent is ahead, nil for not at all.
-	Clock func(name string) time.Duration
+	ClockOffset func(name string) time.Duration
 }
 
 // What the settings of all nodes say, and how full servers are in usual times.
@@ -58,15 +58,15 @@
 type Testbed struct {
 	Options
 	*Result
-	Dir       string
-	Discovery *fake.Discovery
-	Proxy     *faultproxy.Proxy
-	Names     []string // of the nodes, and of their agents
-	Nodes     Nodes
-	Agents    map[string]*Agent
-	Key       string                            // the fleet's key file
-	Fleet     operatorconfig.Fleet              // what all members have alike
-	Slow      func(server string) time.Duration // until a first line is answered; nil for at once
+	Dir         string
+	Discovery   *fake.Discovery
+	Proxy       *faultproxy.Proxy
+	Names       []string // of the nodes, and of their agents
+	Nodes       Nodes
+	Agents      map[string]*Agent
+	KeyFile     string                            // the fleet's key file
+	Fleet       operatorconfig.Fleet              // what all members have alike
+	AnswerDelay func(server string) time.Duration // until a first line is answered; nil for at once
 
 	peers []string // where the relay takes members' messages
 	zones map[string]string
@@ -106,7 +106,7 @@
 
 // End ends all processes and stand-ins.
 func (w *Testbed) Close() {
-	w.Nodes.Terminate()
+	w.Nodes.KillAll()
 	for _, a := range w.Agents {
 		a.Kill()
 	}
@@ -150,8 +150,8 @@
 		return err
 	}
 	w.Fleet = operatorconfig.Default().Fleet
-	w.Fleet.Key, w.Fleet.Retries = w.Key, w.Retries
-	w.Fleet.Hold, w.Fleet.Epoch = operatorconfig.Duration{Duration: w.Hold}, operatorconfig.Duration{Duration: w.Window}
+	w.Fleet.Key, w.Fleet.Retries = w.KeyFile, w.RetryRatio
+	w.Fleet.Hold, w.Fleet.Epoch = operatorconfig.Duration{Duration: w.LeaseTimeout}, operatorconfig.Duration{Duration: w.BudgetWindow}
 	var own []operatorconfig.File
 	for i := range w.Options.Nodes {
 		name := fmt.Sprintf("n%d", i)
@@ -188,8 +188,8 @@
 	if _, err := rand.Read(raw); err != nil {
 		return err
 	}
-	w.Key = filepath.Join(w.Dir, "fleet.key")
-	return os.WriteFile(w.Key, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
+	w.KeyFile = filepath.Join(w.Dir, "fleet.key")
+	return os.WriteFile(w.KeyFile, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
 }
 
 // start starts a node with its agent.
@@ -217,5 +217,5 @@
 // Step is a part of a scene's script.
 type Phase struct {
 	Name string
-	Do   func(ctx context.Context, rng *mrand.Rand) error
+	Run  func(ctx context.Context, rng *mrand.Rand) error
 }
--- a/internal/scenario/udp.go
+++ b/internal/scenario/udp.go
@@ -63,7 +63,7 @@
 func UDP(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
 	s := &udpScene{UDPOptions: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewDiscovery(),
 		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
-	s.Scaled = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
+	s.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
 	if _, ok := UDPMutations[o.Mutation]; o.Mutation != "" && !ok {
 		return nil, fmt.Errorf("no mutation %q", o.Mutation)
@@ -163,7 +163,7 @@
 			running = false
 		case <-time.After(200 * time.Millisecond):
 		}
-		part, size := float64(next.Load())/float64(s.Flows), s.node.Resident()
+		part, size := float64(next.Load())/float64(s.Flows), s.node.ResidentMemory()
 		switch {
 		case part > 0.75:
 			late, lates = late+size, lates+1
--- a/internal/scenario/udp_faults.go
+++ b/internal/scenario/udp_faults.go
@@ -24,7 +24,7 @@
 			s.hang(ctx, v)
 		case 2:
 			s.AddMetric("servers killed", 1)
-			s.FailServer(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
+			s.BounceServer(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
 			s.mark(v.Name)
 		default:
 			s.AddMetric("drains", 1)
@@ -86,7 +86,7 @@
 		}
 		return
 	}
-	s.HoldDrain(s.roster, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
+	s.CheckDrain(s.roster, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
 	s.AddMetric("arrived", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/scenario/zones/links.go
+++ b/internal/scenario/zones/links.go
@@ -83,7 +83,7 @@
 	begun := time.Now()
 	spoil(s.ServersIn(zone), fake.Unresponsive)
 	fake.Sleep(ctx, time.Duration(200+rng.IntN(600))*time.Millisecond)
-	if err := a.Disk(true); err != nil {
+	if err := a.SetDiskFull(true); err != nil {
 		return err
 	}
 	s.left(ctx, "disk", zone, s.Names, begun, leaveBound+electionBound)
@@ -91,7 +91,7 @@
 	if next := s.watch.leader(); next == "" || next == leader || state.DiskError == "" {
 		s.AddViolation("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.DiskError, state.Role, next))
 	}
-	if err := a.Disk(false); err != nil {
+	if err := a.SetDiskFull(false); err != nil {
 		return err
 	}
 	spoil(s.ServersIn(zone), fake.Healthy)
@@ -113,14 +113,14 @@
 	begun := time.Now()
 	lost := s.NodesIn(zone, true)
 	for _, name := range lost {
-		s.ServerFailed(name)
+		s.KillMachine(name)
 	}
 	list := s.ServersIn(zone)
 	if err := s.dies(ctx, "leader", list, s.NodesIn(zone, false), begun, leaveBound+electionBound); err != nil {
 		return err
 	}
 	for _, name := range lost {
-		if err := s.RestartServer(ctx, name); err != nil {
+		if err := s.RestartMachine(ctx, name); err != nil {
 			return err
 		}
 	}
--- a/internal/scenario/zones/steps.go
+++ b/internal/scenario/zones/steps.go
@@ -51,7 +51,7 @@
 	s.RequireAtLeast("cold_steps_seen", 3)
 	most := 0.0
 	for _, v := range list {
-		x, _ := s.RequestsAgainst(v.Name, back, time.Now())
+		x, _ := s.BudgetUse(v.Name, back, time.Now())
 		most = max(most, x)
 	}
 	s.SetMetric("cold_most_of_budget", most)
@@ -126,7 +126,7 @@
 	one, other := s.victim(), s.victim()
 	stay := s.ServersIn(slices.DeleteFunc(slices.Clone(s.Zones), func(z string) bool { return z == one || z == other })...)
 	// So much that it would make those that stay twice as full as they may be.
-	s.Surge(2 * float64(len(stay)) / float64(len(s.AllServers())) / testbed.UsualLoad)
+	s.SetFirstVisitRate(2 * float64(len(stay)) / float64(len(s.AllServers())) / testbed.UsualLoad)
 	fake.Sleep(ctx, 3*time.Second) // seen by the record
 	begun := time.Now()
 	lost := s.ServersIn(one, other)
@@ -147,7 +147,7 @@
 	// is what the fleet refuses as one.
 	s.SetMetric("two_over", s.watch.over(begun))
 	s.RequireAtLeast("two_over", 0.05)
-	s.Surge(1)
+	s.SetFirstVisitRate(1)
 	for _, v := range lost {
 		s.MarkCold(v)
 	}
--- a/internal/scenario/zones/zones.go
+++ b/internal/scenario/zones/zones.go
@@ -92,15 +92,15 @@
 	defer built.Close()
 	s := &scene{built, newWatchers(built.Agents), o.Rate, int(o.Seed % uint64(o.Zones))}
 	defer s.watch.end()
-	s.Scaled = fmt.Sprintf("%d nodes in %d zones, all on one machine; a server is warm after %v, a step of a return takes %v, a zone that fails twice is held for %v",
+	s.ScaledDown = fmt.Sprintf("%d nodes in %d zones, all on one machine; a server is warm after %v, a step of a return takes %v, a zone that fails twice is held for %v",
 		o.Nodes, o.Zones, ramp, steady, hold)
 	return s.Result, s.Play(ctx, s.steps(), o.Steps)
 }
 
 // options is the scene's world.
 func options(o Options) testbed.Options {
-	w := testbed.Options{Scenario: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, Links: true, Loads: true,
-		Binary: o.Binary, Mutation: o.Mutation, Progress: o.Progress, Ramp: ramp, Window: window, Hold: 3 * time.Second, Retries: retries}
+	w := testbed.Options{Scenario: "zones", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate, ProxyServers: true, ReportLoad: true,
+		Binary: o.Binary, Mutation: o.Mutation, Progress: o.Progress, Ramp: ramp, BudgetWindow: window, LeaseTimeout: 3 * time.Second, RetryRatio: retries}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
@@ -112,7 +112,7 @@
 		z.Cold, z.Bears = testbed.SlowStartShare, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.ReplicatedLog.Lease = of(lease)
 	}
-	w.Clock = func(name string) time.Duration {
+	w.ClockOffset = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
 			return skew
 		}
@@ -125,11 +125,11 @@
 
 // steps is the script.
 func (s *scene) steps() (all []testbed.Phase) {
-	for _, step := range []testbed.Phase{{Name: "meet", Do: s.meet}, {Name: "cold", Do: s.cold}, {Name: "silent", Do: s.silent},
-		{Name: "link", Do: s.link}, {Name: "half", Do: s.half}, {Name: "one", Do: s.one}, {Name: "self", Do: s.self}, {Name: "disk", Do: s.disk},
-		{Name: "leader", Do: s.leader}, {Name: "lone", Do: s.lone}, {Name: "two", Do: s.two}, {Name: "flap", Do: s.flap}} {
-		do := step.Do
-		step.Do = func(ctx context.Context, rng *mrand.Rand) error {
+	for _, step := range []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "cold", Run: s.cold}, {Name: "silent", Run: s.silent},
+		{Name: "link", Run: s.link}, {Name: "half", Run: s.half}, {Name: "one", Run: s.one}, {Name: "self", Run: s.self}, {Name: "disk", Run: s.disk},
+		{Name: "leader", Run: s.leader}, {Name: "lone", Run: s.lone}, {Name: "two", Run: s.two}, {Name: "flap", Run: s.flap}} {
+		do := step.Run
+		step.Run = func(ctx context.Context, rng *mrand.Rand) error {
 			from := time.Now()
 			err := do(ctx, rng)
 			s.served(step.Name, from, time.Now())
@@ -145,7 +145,7 @@
 var leastServed = map[string]float64{"meet": 0, "two": 0.25, "leader": 0.6, "": 0.85}
 
 func (s *scene) served(step string, from, until time.Time) {
-	share, all := s.Served(from, until)
+	share, all := s.ServedShare(from, until)
 	least, ok := leastServed[step]
 	if !ok {
 		least = leastServed[""]
@@ -162,7 +162,7 @@
 func (s *scene) meet(ctx context.Context, _ *mrand.Rand) error {
 	_, met := testbed.Await(ctx, 20*time.Second, func() bool {
 		now := time.Now()
-		served, _ := s.Served(now.Add(-time.Second), now)
+		served, _ := s.ServedShare(now.Add(-time.Second), now)
 		return served > 0.97 && s.watch.settled(s.Names)
 	})
 	if !met && ctx.Err() == nil {
