coralscenario: a file a scenario, one way to run them; scenarios are packages of their own

The command's set-up stood four times and is runFlags.runScenario now. Flags, names and exit codes are the same; help texts differ in words.

--- /dev/null
+++ b/cmd/coralscenario/flags.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+
+	"coralrelay/internal/scenario/testbed"
+)
+
+// runFlags are the flags that all checked scenarios have.
+type runFlags struct {
+	Seed          uint64 `default:"1" help:"The script's seed."`
+	JSON          string `name:"json" placeholder:"FILE" help:"Write the result there."`
+	Mutation      string `placeholder:"NAME" help:"Switch a guard off; the scenario must then find broken rules and exit 1."`
+	ListMutations bool   `help:"Name the guards that can be switched off, and end."`
+}
+
+// memberFlags are the flags of the scenarios whose agents keep a replicated log.
+type memberFlags struct {
+	Nodes  int `default:"7" help:"Nodes, each with its agent: 5 to 15."`
+	Voters int `default:"3" help:"Agents that vote on what the replicated log takes: 3 or 5."`
+}
+
+// valid reports whether the counts are within what their help says.
+func (f memberFlags) valid() bool {
+	return between(f.Nodes, 5, 15) && (f.Voters == 3 || f.Voters == 5)
+}
+
+// between reports whether least <= x <= most; it is false for a NaN.
+func between[T int | float64](x, least, most T) bool { return x >= least && x <= most }
+
+// runScenario plays a scenario, prints its result and writes the result file; or it only lists
+// the mutations where the flags ask for that. The error is testbed.ErrRulesBroken where the
+// scenario ran and a rule broke.
+func (f runFlags) runScenario(ctx context.Context, mutations map[string]string,
+	play func(ctx context.Context, progress io.Writer) (*testbed.Result, error)) error {
+	if f.ListMutations {
+		printMutations(mutations)
+		return nil
+	}
+	result, err := play(ctx, progressWriter())
+	if err != nil {
+		return err
+	}
+	return result.Finish(os.Stdout, f.JSON)
+}
+
+// printMutations lists the mutations by name, each with what it takes out.
+func printMutations(mutations map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(mutations)) {
+		fmt.Printf("%-18s %s\n", name, mutations[name])
+	}
+}
+
+// progressWriter returns standard error if it is a terminal, else nil: nobody looks at progress
+// there.
+func progressWriter() io.Writer {
+	if info, err := os.Stderr.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return os.Stderr
+}
--- /dev/null
+++ b/cmd/coralscenario/objectives.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"coralrelay/internal/scenario/objectives"
+	"coralrelay/internal/scenario/testbed"
+)
+
+// objectivesCommand runs the scenario of service level objectives; on the command line it is
+// called promises.
+type objectivesCommand struct {
+	runFlags
+	memberFlags
+	Zones       int      `default:"3" help:"Zones: 3 to 5."`
+	Servers     int      `default:"9" help:"Feed servers, spread over the zones in turn; the third zone keeps one."`
+	Rate        float64  `default:"300" help:"Transactions a second under contract."`
+	Steps       []string `help:"Play these alone, after members have met: calm, slow, other, left."`
+	SteeredOnly bool     `name:"alone" help:"Play the steered run alone, without an unsteered and a greedy one beside it."`
+}
+
+// Run is called by kong.
+func (c *objectivesCommand) Run(ctx context.Context, top *commands) error {
+	return c.runScenario(ctx, objectives.Mutations, func(ctx context.Context, progress io.Writer) (*testbed.Result, error) {
+		if !c.memberFlags.valid() || !between(c.Zones, 3, 5) || !between(c.Servers, 2*c.Zones, 30) || !between(c.Rate, 100, 1000) {
+			return nil, errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 5 zones, two servers or more in each, 30 at most, " +
+				"and a rate of 100 to 1000 are wanted")
+		}
+		return objectives.Play(ctx, objectives.Options{
+			Seed:        c.Seed,
+			Nodes:       c.Nodes,
+			Voters:      c.Voters,
+			Zones:       c.Zones,
+			Servers:     c.Servers,
+			Rate:        c.Rate,
+			Steps:       c.Steps,
+			SteeredOnly: c.SteeredOnly,
+			Binary:      top.Node,
+			Mutation:    c.Mutation,
+			Progress:    progress,
+		})
+	})
+}
--- /dev/null
+++ b/cmd/coralscenario/zones.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"coralrelay/internal/scenario/testbed"
+	"coralrelay/internal/scenario/zones"
+)
+
+// zonesCommand runs the scenario of zones that fail and are evacuated.
+type zonesCommand struct {
+	runFlags
+	memberFlags
+	Zones   int      `default:"3" help:"Zones: 3 to 6."`
+	Servers int      `default:"9" help:"Feed servers."`
+	Rate    float64  `default:"120" help:"Transactions a second in usual times."`
+	Steps   []string `help:"Play these alone, after members have met: cold, silent, link, half, one, self, disk, leader, lone, two, flap."`
+}
+
+// Run is called by kong.
+func (c *zonesCommand) Run(ctx context.Context, top *commands) error {
+	return c.runScenario(ctx, zones.Mutations, func(ctx context.Context, progress io.Writer) (*testbed.Result, error) {
+		if !c.memberFlags.valid() || !between(c.Zones, 3, 6) || !between(c.Servers, 2*c.Zones, 40) || !between(c.Rate, 60, 1000) {
+			return nil, errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 6 zones, two servers or more in each, 40 at most, " +
+				"and a rate of 60 to 1000 are wanted")
+		}
+		return zones.Play(ctx, zones.Options{
+			Seed:     c.Seed,
+			Nodes:    c.Nodes,
+			Voters:   c.Voters,
+			Zones:    c.Zones,
+			Servers:  c.Servers,
+			Rate:     c.Rate,
+			Steps:    c.Steps,
+			Binary:   top.Node,
+			Mutation: c.Mutation,
+			Progress: progress,
+		})
+	})
+}
--- a/internal/scenario/demo.go
+++ b/internal/scenario/demo/demo.go
@@ -1,4 +1,4 @@
-package scenario
+package demo
 
 import (
 	"context"
@@ -14,33 +14,22 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// DemoOptions size the demo.
-type DemoOptions struct {
+// Options size the demo.
+type Options struct {
 	Binary  string
 	Seconds int
 	Out     io.Writer
 }
 
-// quiet hears what stand-ins tell, and counts it.
-type quiet struct{ *testbed.Result }
-
-func (q quiet) Opened(fake.Opened)   {}
-func (q quiet) Started(fake.Started) {}
-func (q quiet) Answered(_, answer string, _ bool, _ time.Duration) {
-	q.AddMetric(answer, 1)
-}
-func (q quiet) Moved(string, string, string)                               { q.AddMetric("moved", 1) }
-func (q quiet) Streaming(string, bool, bool, time.Duration, time.Duration) {}
-
-// Demo shows a node at work: four feed servers, one of which drains half way.
-func Demo(ctx context.Context, o DemoOptions) error {
+// Run shows a node at work: four feed servers, one of which drains half way.
+func Run(ctx context.Context, o Options) error {
 	const servers, clients = 4, 60
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	seen := quiet{testbed.NewResult("demo", 1)}
+	seen := testbed.CountingObserver{Result: testbed.NewResult("demo", 1)}
 	feed, roster := fake.NewFeed(10, 10, 1), fake.NewDiscovery()
 	defer roster.Close()
 	discovery, err := roster.Listen("n0")
--- a/internal/scenario/fleet_lies.go
+++ b/internal/scenario/fleet/lies.go
@@ -1,4 +1,4 @@
-package scenario
+package fleet
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 )
 
 // lies has one member with the key accuse sound servers, and strangers without it.
-func (s *fleetScene) lies(ctx context.Context, _ *mrand.Rand) error {
-	if s.FleetOptions.WithoutAgents {
+func (s *run) lies(ctx context.Context, _ *mrand.Rand) error {
+	if s.Options.WithoutAgents {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -30,7 +30,7 @@
 		if err != nil {
 			return err
 		}
-		a := gossip.NewMember(name, quota.Config{Epoch: fleetWindow, LeaseTimeout: fleetHold, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}, quota.Guards{},
+		a := gossip.NewMember(name, quota.Config{Epoch: budgetWindow, LeaseTimeout: leaseTimeout, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}, quota.Guards{},
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
--- a/internal/scenario/fleet_bad.go
+++ b/internal/scenario/fleet/outlier.go
@@ -1,4 +1,4 @@
-package scenario
+package fleet
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 // bad has a server answer every first line with an error, while its probes look well, and
 // then another answer nothing at all.
-func (s *fleetScene) bad(ctx context.Context, _ *mrand.Rand) error {
+func (s *run) bad(ctx context.Context, _ *mrand.Rand) error {
 	// What was served before has to fade (2 s), half of those who ask to see it fail, and the
 	// share is taken over a second.
 	const within = 5 * time.Second
@@ -29,7 +29,7 @@
 		shunned = 8 * time.Second
 	}
 	s.SetMetric("bad_shunned_after_ms", float64(shunned.Milliseconds()))
-	if !s.FleetOptions.WithoutAgents && shunned > within {
+	if !s.Options.WithoutAgents && shunned > within {
 		s.AddViolation("verdict", fmt.Sprintf("a server that fails was not shunned within %v", within))
 	}
 	fake.Sleep(ctx, 7*time.Second) // accusations are forgotten
--- a/internal/scenario/promises_contracts.go
+++ b/internal/scenario/objectives/contracts.go
@@ -1,4 +1,4 @@
-package scenario
+package objectives
 
 import (
 	"crypto/ed25519"
@@ -23,7 +23,7 @@
 
 // tenants have contracts of three priorities; one may use two zones only, one has few
 // transactions, and one is promised what no region can keep.
-func (s *promisesScene) tenants() []tenant {
+func (s *run) tenants() []tenant {
 	of := func(name string, priority int, part, share float64, bound time.Duration, zones ...string) tenant {
 		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Objective: bound, Window: 10 * time.Second,
 			Target: share, Priority: priority, Zones: zones}, part}
@@ -33,7 +33,7 @@
 }
 
 // agree founds an account with a route for each tenant, and sets the contracts.
-func (s *promisesScene) agree() error {
+func (s *run) agree() error {
 	none := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1, Routes: -1, Teams: -1}
 	accounts := account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "acme", Node: &account.Node{Limits: none}}}}
 	var contracts slo.Change
@@ -48,7 +48,7 @@
 	return s.sign(logentry.KindContracts, contracts)
 }
 
-func (s *promisesScene) sign(kind logentry.Kind, change any) error {
+func (s *run) sign(kind logentry.Kind, change any) error {
 	body, err := json.Marshal(change)
 	if err != nil {
 		return err
--- a/internal/scenario/promises_figures.go
+++ b/internal/scenario/objectives/metrics.go
@@ -1,4 +1,4 @@
-package scenario
+package objectives
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-func (s *promisesScene) figure(name string) string {
+func (s *run) figure(name string) string {
 	if s.name == "" {
 		return name
 	}
@@ -17,7 +17,7 @@
 }
 
 // figures are those of the whole run.
-func (s *promisesScene) figures() {
+func (s *run) figures() {
 	s.mu.Lock()
 	from, until := time.Time{}, time.Time{}
 	for _, p := range s.parts {
@@ -60,7 +60,7 @@
 
 // beside puts a run's figures beside those of the one that is checked, which has to keep more
 // of the first two priorities.
-func (s *promisesScene) beside(first *promisesScene) {
+func (s *run) beside(first *run) {
 	for _, name := range slices.Sorted(figureNames(s)) {
 		first.SetMetric(name, s.Metric(name))
 	}
@@ -75,7 +75,7 @@
 	}
 }
 
-func figureNames(s *promisesScene) func(func(string) bool) {
+func figureNames(s *run) func(func(string) bool) {
 	return func(yield func(string) bool) {
 		for name := range s.Metrics {
 			if strings.HasPrefix(name, s.name+"_") && !yield(name) {
--- a/internal/scenario/promises.go
+++ b/internal/scenario/objectives/objectives.go
@@ -1,4 +1,4 @@
-package scenario
+package objectives
 
 import (
 	"context"
@@ -16,8 +16,8 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// PromisesOptions size the scene of contracts on response times.
-type SLOOptions struct {
+// Options size the scene of contracts on response times.
+type Options struct {
 	Seed                          uint64
 	Nodes, Voters, Zones, Servers int
 	Rate                          float64  // transactions a second of all contracts
@@ -27,8 +27,8 @@
 	Progress                      io.Writer
 }
 
-// PromisesMutations are the guards that the scenario can switch off, all in the agent.
-var SLOMutations = map[string]string{
+// Mutations are the guards that the scenario can switch off, all in the agent.
+var Mutations = map[string]string{
 	"greedy":         "all there is goes to the best region at once",
 	"confidence":     "a few samples are a verdict",
 	"hysteresis":     "no patience, no margin, and no budget asked",
@@ -39,14 +39,14 @@
 
 // The scene's times. Promises' own time passes ten times faster: a period is 3 s, a minute 6 s.
 const (
-	pace           = 10
-	promisesRamp   = 2 * time.Second
-	promisesWindow = 1500 * time.Millisecond
+	pace         = 10
+	rampTime     = 2 * time.Second
+	budgetWindow = 1500 * time.Millisecond
 )
 
-// promisesScene is one run.
-type promisesScene struct {
-	SLOOptions
+// run is one run.
+type run struct {
+	Options
 	*testbed.Testbed
 	name   string // of the run, empty for the one that is checked
 	root   ed25519.PrivateKey
@@ -63,9 +63,9 @@
 	unkept map[string]string
 }
 
-// Promises plays the scene: regions become slow, are small, are left and return, while
+// Play plays the scene: regions become slow, are small, are left and return, while
 // contracts that can and cannot be kept are steered by the record.
-func SLO(ctx context.Context, o SLOOptions) (*testbed.Result, error) {
+func Play(ctx context.Context, o Options) (*testbed.Result, error) {
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
@@ -77,20 +77,20 @@
 			return nil, err
 		}
 	}
-	type run struct {
+	type variant struct {
 		name, agent, mutation string
 		steered               bool
 	}
-	runs := []run{{"", "", "", true}}
+	runs := []variant{{"", "", "", true}}
 	if o.Mutation != "" {
-		runs = []run{{"", mutatedAgent, o.Mutation, true}}
+		runs = []variant{{"", mutatedAgent, o.Mutation, true}}
 	} else if !o.SteeredOnly {
-		runs = append(runs, run{"unsteered", "", "", false}, run{"greedy", mutatedAgent, "greedy", true})
+		runs = append(runs, variant{"unsteered", "", "", false}, variant{"greedy", mutatedAgent, "greedy", true})
 	}
-	scenes, errs := make([]*promisesScene, len(runs)), make([]error, len(runs))
+	played, errs := make([]*run, len(runs)), make([]error, len(runs))
 	var all sync.WaitGroup
 	for i, r := range runs {
-		all.Go(func() { scenes[i], errs[i] = playPromises(ctx, o, r.name, r.agent, r.mutation, r.steered) })
+		all.Go(func() { played[i], errs[i] = playRun(ctx, o, r.name, r.agent, r.mutation, r.steered) })
 	}
 	all.Wait()
 	for i, err := range errs {
@@ -98,23 +98,23 @@
 			return nil, fmt.Errorf("%s: %w", strings.TrimSpace("promises "+runs[i].name), err)
 		}
 	}
-	first := scenes[0]
-	for _, s := range scenes[1:] {
+	first := played[0]
+	for _, s := range played[1:] {
 		s.beside(first)
 	}
 	first.ScaledDown = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, pace)
 	return first.Result, nil
 }
 
-// playPromises is one run.
-func playPromises(ctx context.Context, o SLOOptions, name, agent, mutation string, steered bool) (*promisesScene, error) {
+// playRun is one run.
+func playRun(ctx context.Context, o Options, name, agent, mutation string, steered bool) (*run, error) {
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		return nil, err
 	}
 	w := testbed.Options{Scenario: "promises", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Voters: o.Voters, Rate: o.Rate,
 		ProxyServers: true, ReportLoad: true, Binary: o.Binary, Agent: agent, Mutation: mutation,
-		Ramp: promisesRamp, BudgetWindow: promisesWindow, LeaseTimeout: 3 * time.Second, RetryRatio: 0.3}
+		Ramp: rampTime, BudgetWindow: budgetWindow, LeaseTimeout: 3 * time.Second, RetryRatio: 0.3}
 	if name == "" {
 		w.Progress = o.Progress
 	}
@@ -124,7 +124,7 @@
 	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
-		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(promisesRamp)
+		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(rampTime)
 		z.Cold, z.Bears = testbed.SlowStartShare, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
 		p := &f.Fleet.SLO
@@ -135,7 +135,7 @@
 		return nil, err
 	}
 	defer built.Close()
-	s := &promisesScene{SLOOptions: o, Testbed: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
+	s := &run{Options: o, Testbed: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
 		parts: map[string][2]time.Time{}, unkept: map[string]string{}}
 	s.quick, s.second, s.small = w.Zones[1], w.Zones[0], w.Zones[2]
 	built.SetRate(0.02) // the world's own clients are under no contract
@@ -173,7 +173,7 @@
 )
 
 // slow makes some zones slow, all others usual; nil for none.
-func (s *promisesScene) slow(zones map[string]bool) {
+func (s *run) slow(zones map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, zone := range s.Testbed.Zones {
@@ -185,7 +185,7 @@
 }
 
 // answersIn is how long a server takes.
-func (s *promisesScene) answersIn(server string) time.Duration {
+func (s *run) answersIn(server string) time.Duration {
 	zone := s.Zone(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,7 +193,7 @@
 }
 
 // weather slows regions down as they fill, as servers do.
-func (s *promisesScene) weather(ctx context.Context) {
+func (s *run) weather(ctx context.Context) {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -212,7 +212,7 @@
 }
 
 // loadOf is what a zone's servers were asked, over what they bear warm.
-func (s *promisesScene) loadOf(zone string, from, until time.Time) float64 {
-	bears := float64(len(s.ServersIn(zone))) * s.Testbed.Rate / float64(s.SLOOptions.Servers) / testbed.UsualLoad
+func (s *run) loadOf(zone string, from, until time.Time) float64 {
+	bears := float64(len(s.ServersIn(zone))) * s.Testbed.Rate / float64(s.Options.Servers) / testbed.UsualLoad
 	return float64(len(s.FirstLinesInto(zone, from, until))) / until.Sub(from).Seconds() / bears
 }
--- a/internal/scenario/promises_seen.go
+++ b/internal/scenario/objectives/observed.go
@@ -1,4 +1,4 @@
-package scenario
+package objectives
 
 import (
 	"bufio"
@@ -35,8 +35,8 @@
 }
 
 // clients open tenants' transactions at the rate until ctx ends.
-func (s *promisesScene) clients(ctx context.Context, all *sync.WaitGroup) {
-	rng := mrand.New(mrand.NewPCG(s.SLOOptions.Seed, 21))
+func (s *run) clients(ctx context.Context, all *sync.WaitGroup) {
+	rng := mrand.New(mrand.NewPCG(s.Options.Seed, 21))
 	tenants := s.tenants()
 	next := time.Now()
 	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
@@ -51,7 +51,7 @@
 	}
 }
 
-func (s *promisesScene) client(ctx context.Context, id int, tenant, node, addr string) {
+func (s *run) client(ctx context.Context, id int, tenant, node, addr string) {
 	begun := time.Now()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -82,7 +82,7 @@
 }
 
 // watchRecord notes each change of an allocation.
-func (s *promisesScene) watchRecord(ctx context.Context) {
+func (s *run) watchRecord(ctx context.Context) {
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
@@ -114,7 +114,7 @@
 }
 
 // even is where a contract goes that was never steered.
-func (s *promisesScene) even(t tenant) map[string]float64 {
+func (s *run) even(t tenant) map[string]float64 {
 	shares, all := map[string]float64{}, 0.0
 	for _, v := range s.AllServers() {
 		if len(t.Zones) == 0 || slices.Contains(t.Zones, v.Zone) {
@@ -129,7 +129,7 @@
 }
 
 // moves are the changes of allocations between two times.
-func (s *promisesScene) moves(from, until time.Time) (list []steered) {
+func (s *run) moves(from, until time.Time) (list []steered) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range s.shares {
@@ -146,7 +146,7 @@
 
 // kept is the share of a tenant's windows of one second between two times in which his
 // promise held, as his clients saw it; and how many windows there were.
-func (s *promisesScene) kept(t tenant, from, until time.Time) (share float64, n int) {
+func (s *run) kept(t tenant, from, until time.Time) (share float64, n int) {
 	window := t.Window / pace
 	all, good := map[int64]float64{}, map[int64]float64{}
 	s.mu.Lock()
@@ -170,7 +170,7 @@
 
 // into is the share of a tenant's first lines that went into a zone, as its servers saw it;
 // and how many he had in all.
-func (s *promisesScene) into(name, zone string, from, until time.Time) (share float64, all int) {
+func (s *run) into(name, zone string, from, until time.Time) (share float64, all int) {
 	n := 0
 	for _, l := range s.FirstLines(from, until) {
 		if strings.HasPrefix(l.Key, name+"-") {
@@ -183,7 +183,7 @@
 }
 
 // fullest is the greatest load of a zone in any two seconds.
-func (s *promisesScene) fullest(zone string, from, until time.Time) (most float64) {
+func (s *run) fullest(zone string, from, until time.Time) (most float64) {
 	const over = 2 * time.Second
 	for at := from; !at.Add(over).After(until); at = at.Add(over / 4) {
 		most = max(most, s.loadOf(zone, at, at.Add(over)))
@@ -193,12 +193,12 @@
 
 // given is the greatest part of what a zone bears that allocations between two times gave it,
 // by what tenants ask for.
-func (s *promisesScene) given(zone string, from, until time.Time) (most float64) {
+func (s *run) given(zone string, from, until time.Time) (most float64) {
 	now := map[string]float64{}
 	for _, t := range s.tenants() {
 		now[t.Name] = t.part * s.even(t)[zone]
 	}
-	bears := float64(len(s.ServersIn(zone))) / float64(s.SLOOptions.Servers) / testbed.UsualLoad
+	bears := float64(len(s.ServersIn(zone))) / float64(s.Options.Servers) / testbed.UsualLoad
 	for _, x := range s.moves(time.Time{}, until) {
 		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Overflow, 0)
 		sum := 0.0
@@ -212,7 +212,7 @@
 	return most
 }
 
-func (s *promisesScene) tenant(name string) tenant {
+func (s *run) tenant(name string) tenant {
 	all := s.tenants()
 	return all[slices.IndexFunc(all, func(t tenant) bool { return t.Name == name })]
 }
--- a/internal/scenario/promises_steps.go
+++ b/internal/scenario/objectives/phases.go
@@ -1,4 +1,4 @@
-package scenario
+package objectives
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 )
 
 // script is what happens. Its first step is played in any case.
-func (s *promisesScene) script(ctx context.Context, all *sync.WaitGroup) (steps []testbed.Phase) {
+func (s *run) script(ctx context.Context, all *sync.WaitGroup) (steps []testbed.Phase) {
 	meet := func(context.Context, *mrand.Rand) error {
 		all.Go(func() { s.clients(ctx, all) })
 		if _, met := testbed.Await(ctx, 30*time.Second, s.met); !met && ctx.Err() == nil {
@@ -55,7 +55,7 @@
 }
 
 // met tells whether all agents hear the record, at one index.
-func (s *promisesScene) met() bool {
+func (s *run) met() bool {
 	index := uint64(0)
 	for i, name := range s.Names {
 		var state agentapi.State
@@ -68,14 +68,14 @@
 }
 
 // breaks notes a broken rule of the run that is checked.
-func (s *promisesScene) breaks(rule, format string, args ...any) {
+func (s *run) breaks(rule, format string, args ...any) {
 	if s.name == "" {
 		s.AddViolation(rule, fmt.Sprintf(format, args...))
 	}
 }
 
 // calm has all well but for one moment of slowness: nobody moves.
-func (s *promisesScene) calm(ctx context.Context) error {
+func (s *run) calm(ctx context.Context) error {
 	from := time.Now()
 	fake.Sleep(ctx, 5*time.Second)
 	s.slow(map[string]bool{s.quick: true})
@@ -91,7 +91,7 @@
 }
 
 // slower has a region slow: the first priority leaves it, and the small one is not overrun.
-func (s *promisesScene) slower(ctx context.Context) error {
+func (s *run) slower(ctx context.Context) error {
 	from := time.Now()
 	s.slow(map[string]bool{s.quick: true})
 	fake.Sleep(ctx, 21*time.Second)
@@ -108,7 +108,7 @@
 	return nil
 }
 
-func (s *promisesScene) why(name string) string {
+func (s *run) why(name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.unkept[name]
@@ -116,7 +116,7 @@
 
 // other has that region well again and another slow: tenants go back, and who has left the
 // slow one explores it with little.
-func (s *promisesScene) other(ctx context.Context) error {
+func (s *run) other(ctx context.Context) error {
 	from := time.Now()
 	s.slow(map[string]bool{s.second: true})
 	fake.Sleep(ctx, 28*time.Second)
@@ -143,7 +143,7 @@
 }
 
 // left has the small region fail: the fleet leaves it, contracts with it, and it returns.
-func (s *promisesScene) left(ctx context.Context) error {
+func (s *run) left(ctx context.Context) error {
 	s.slow(nil)
 	fake.Sleep(ctx, 2*time.Second)
 	for _, v := range s.ServersIn(s.small) {
@@ -180,7 +180,7 @@
 }
 
 // holds checks that a promise is kept once the loop has settled.
-func (s *promisesScene) holds(step string, t tenant) {
+func (s *run) holds(step string, t tenant) {
 	share, n := s.kept(t, time.Now().Add(-settledFor), time.Now().Add(-t.seen()))
 	s.SetMetric(s.figure(step+"_"+t.Name+"_kept_settled"), share)
 	if share < leastKept || n == 0 {
@@ -189,7 +189,7 @@
 }
 
 // bounded checks what holds whatever happens: a step a period, and what regions bear.
-func (s *promisesScene) bounded(step string, from time.Time) {
+func (s *run) bounded(step string, from time.Time) {
 	s.load(step, from)
 	well := map[string]string{"slow": s.second, "other": s.quick}[step]
 	for _, x := range s.moves(from, time.Now()) {
@@ -204,7 +204,7 @@
 	}
 }
 
-func (s *promisesScene) load(step string, from time.Time) {
+func (s *run) load(step string, from time.Time) {
 	for _, zone := range s.Testbed.Zones {
 		most := s.fullest(zone, from, time.Now())
 		s.SetMetric(s.figure(step+"_load_"+zone), most)
--- a/internal/scenario/resume_abuse.go
+++ b/internal/scenario/resume/abuse.go
@@ -1,4 +1,4 @@
-package scenario
+package resume
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 )
 
 // abuse presents tokens a second time, as another client, and spoiled.
-func (s *scene) abuse(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(s.ResumeOptions.Seed, 99))
+func (s *run) abuse(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.Options.Seed, 99))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for fake.Sleep(ctx, 80*time.Millisecond) {
@@ -68,7 +68,7 @@
 }
 
 // watch compares what clients have with the truth of two seconds ago.
-func (s *scene) watch(ctx context.Context) {
+func (s *run) watch(ctx context.Context) {
 	for fake.Sleep(ctx, 200*time.Millisecond) {
 		for _, c := range s.clients {
 			before := time.Now().Add(-freshness)
@@ -81,7 +81,7 @@
 	}
 }
 
-func (s *scene) compare(c *fake.Client, versions map[int]uint64, at time.Time) {
+func (s *run) compare(c *fake.Client, versions map[int]uint64, at time.Time) {
 	s.AddMetric("comparisons", 1)
 	for l, v := range s.feed.State(c.Group, s.feed.Head(c.Group, at)) {
 		if versions[l] < v {
@@ -91,7 +91,7 @@
 }
 
 // settled holds every client to the latest of everything.
-func (s *scene) settled() {
+func (s *run) settled() {
 	for _, c := range s.clients {
 		if c.WithoutResumption {
 			continue
@@ -105,7 +105,7 @@
 	}
 }
 
-func (s *scene) report(ctx context.Context) {
+func (s *run) report(ctx context.Context) {
 	for n := 1; fake.Sleep(ctx, time.Second); n++ {
 		if s.Progress != nil {
 			fmt.Fprintf(s.Progress, "\r%3d s  %5.0f moves  %5.0f resumed  %5.0f snapshots  %3.0f drains  %2.0f restarts  %2.0f nodes killed ",
--- a/internal/scenario/resume_faults.go
+++ b/internal/scenario/resume/faults.go
@@ -1,4 +1,4 @@
-package scenario
+package resume
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 )
 
 // fault makes one fault happen and, in time, heal.
-func (s *scene) fault(ctx context.Context, wg *sync.WaitGroup) error {
+func (s *run) fault(ctx context.Context, wg *sync.WaitGroup) error {
 	now := time.Now()
 	free := func(name string, hold time.Duration) bool {
 		s.mu.Lock()
@@ -88,7 +88,7 @@
 }
 
 // drain has a server drain, and come back later.
-func (s *scene) drain(ctx context.Context, v *fake.Server, away time.Duration) {
+func (s *run) drain(ctx context.Context, v *fake.Server, away time.Duration) {
 	s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
 	if s.Mutation != "drain" { // else it takes what it is wrongly sent, so that it is seen
 		v.Drain(away)
--- a/internal/scenario/resume_play.go
+++ b/internal/scenario/resume/play.go
@@ -1,4 +1,4 @@
-package scenario
+package resume
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 )
 
 // play runs the script until there were enough moves, then lets all come to rest.
-func (s *scene) play(ctx context.Context) error {
+func (s *run) play(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -28,7 +28,7 @@
 	for i := range s.Clients {
 		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
 			Patience: testbed.Patience, Nodes: s.nodes, Observer: s, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
-		c.Seed(s.ResumeOptions.Seed, uint64(i))
+		c.Seed(s.Options.Seed, uint64(i))
 		s.clients = append(s.clients, c)
 		wg.Go(func() {
 			fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(s.Clients))
@@ -69,7 +69,7 @@
 }
 
 // rotate puts a second key in force while the scene runs.
-func (s *scene) rotate() error {
+func (s *run) rotate() error {
 	if _, _, err := keyfile.Create(s.keys, time.Now().Add(time.Second)); err != nil {
 		return err
 	}
--- a/internal/scenario/resume.go
+++ b/internal/scenario/resume/resume.go
@@ -1,4 +1,4 @@
-package scenario
+package resume
 
 import (
 	"context"
@@ -19,16 +19,16 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// ResumeOptions size the scene of moves with resume tokens.
-type ResumeOptions struct {
+// Options size the scene of moves with resume tokens.
+type Options struct {
 	Seed                           uint64
 	Moves, Nodes, Servers, Clients int
 	Binary, Mutation               string
 	Progress                       io.Writer
 }
 
-// ResumeMutations are the guards that the scenario can switch off.
-var ResumeMutations = map[string]string{
+// Mutations are the guards that the scenario can switch off.
+var Mutations = map[string]string{
 	"ledger":          "the node honours a token without asking its arbiter",
 	"ledger-volatile": "the arbiter grants without writing",
 	"position":        "the node mints a position one too far",
@@ -41,9 +41,9 @@
 	freshness = 2 * time.Second
 )
 
-// scene is one run.
-type scene struct {
-	ResumeOptions
+// run is one run.
+type run struct {
+	Options
 	*testbed.Result
 	rng     *rand.Rand
 	feed    *fake.Feed
@@ -71,11 +71,11 @@
 	at                time.Time
 }
 
-// Resume plays the scene: moves over drains, relief, restarts and kills, while
+// Play plays the scene: moves over drains, relief, restarts and kills, while
 // listings change, with tokens presented twice, stolen and forged.
-func Resume(ctx context.Context, o ResumeOptions) (*testbed.Result, error) {
+func Play(ctx context.Context, o Options) (*testbed.Result, error) {
 	r := testbed.NewResult("resume", o.Seed)
-	s := &scene{ResumeOptions: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewDiscovery(),
+	s := &run{Options: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewDiscovery(),
 		feed:   fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
 		owners: map[string]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
 		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
@@ -113,9 +113,9 @@
 const arrivals = 3 * time.Second
 
 // build makes the parties and starts them.
-func (s *scene) build(ctx context.Context, dir string) error {
+func (s *run) build(ctx context.Context, dir string) error {
 	binary, mutation := s.Binary, ""
-	if _, ok := ResumeMutations[s.Mutation]; s.Mutation != "" && !ok {
+	if _, ok := Mutations[s.Mutation]; s.Mutation != "" && !ok {
 		return fmt.Errorf("no mutation %q", s.Mutation)
 	}
 	if s.Mutation != "" && s.Mutation != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
@@ -184,7 +184,7 @@
 	return nil
 }
 
-func (s *scene) loadKeys() error {
+func (s *run) loadKeys() error {
 	ring, err := keyfile.Load(s.keys)
 	if err != nil {
 		return err
--- a/internal/scenario/resume_seen.go
+++ b/internal/scenario/resume/seen.go
@@ -1,4 +1,4 @@
-package scenario
+package resume
 
 import (
 	"encoding/hex"
@@ -12,12 +12,12 @@
 // ---- what the stand-ins tell ----
 
 // Opened holds first lines to the drain rule.
-func (s *scene) Opened(o fake.Opened) {
+func (s *run) Opened(o fake.Opened) {
 	s.CheckDrain(s.roster, o.Node, o.Server, o.Key, o.At)
 }
 
 // Started holds streams to the rule of one use.
-func (s *scene) Started(v fake.Started) {
+func (s *run) Started(v fake.Started) {
 	if v.Resumed {
 		s.AddMetric("resumed", 1)
 		s.AddMetric("bytes of resumptions", float64(v.Bytes))
@@ -42,7 +42,7 @@
 }
 
 // Answered counts final answers.
-func (s *scene) Answered(_, answer string, presented bool, took time.Duration) {
+func (s *run) Answered(_, answer string, presented bool, took time.Duration) {
 	s.AddMetric("answers "+answer, 1)
 	if presented && answer == "UP" {
 		s.AddMetric("presentations served", 1)
@@ -55,7 +55,7 @@
 }
 
 // Moved keeps the token for those who present it again.
-func (s *scene) Moved(key, group, token string) {
+func (s *run) Moved(key, group, token string) {
 	s.AddMetric("moves", 1)
 	if token == "" {
 		s.AddMetric("moves without a token", 1)
@@ -78,7 +78,7 @@
 }
 
 // Streaming keeps the gap in delivery.
-func (s *scene) Streaming(_ string, presented, resumed bool, wait, gap time.Duration) {
+func (s *run) Streaming(_ string, presented, resumed bool, wait, gap time.Duration) {
 	s.mu.Lock()
 	_ = s.begins[presented].RecordValue(wait.Microseconds())
 	s.mu.Unlock()
@@ -93,7 +93,7 @@
 	_ = s.gaps.RecordValue(gap.Microseconds())
 }
 
-func (s *scene) figures() {
+func (s *run) figures() {
 	s.SetMetric("gap ms p50", float64(s.gaps.ValueAtQuantile(50))/1000)
 	s.SetMetric("gap ms p99", float64(s.gaps.ValueAtQuantile(99))/1000)
 	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
--- a/internal/scenario/udp_faults.go
+++ b/internal/scenario/udp/faults.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"bufio"
@@ -14,8 +14,8 @@
 )
 
 // faults has servers drain, fall and come back, two at a time at most.
-func (s *udpScene) faults(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(s.UDPOptions.Seed, 11))
+func (s *run) faults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.Options.Seed, 11))
 	for n := 0; fake.Sleep(ctx, 1500*time.Millisecond); n++ {
 		v := s.servers[rng.IntN(len(s.servers))]
 		s.mark(v.Name)
@@ -37,7 +37,7 @@
 }
 
 // hang has a server answer nothing for a while, but for its probes.
-func (s *udpScene) hang(ctx context.Context, v *fake.Server) {
+func (s *run) hang(ctx context.Context, v *fake.Server) {
 	s.AddMetric("servers hung", 1)
 	s.mu.Lock()
 	s.hung[v.Name] = time.Now()
@@ -53,7 +53,7 @@
 
 // heard counts what comes while a server answers nothing, and what of it comes to that one
 // although the node has had the time to notice. The lock is held.
-func (s *udpScene) heard(d fake.Datagram) {
+func (s *run) heard(d fake.Datagram) {
 	for server, since := range s.hung {
 		if d.At.Sub(since) < noticing {
 			continue
@@ -65,14 +65,14 @@
 	}
 }
 
-func (s *udpScene) mark(server string) {
+func (s *run) mark(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ill[server] = time.Now()
 }
 
 // datagram holds what a server got to the rules.
-func (s *udpScene) datagram(d fake.Datagram) {
+func (s *run) datagram(d fake.Datagram) {
 	if strings.HasPrefix(d.Flow, "spoofed") {
 		s.AddMetric("flood arrived", 1)
 		return
@@ -101,7 +101,7 @@
 }
 
 // settle reads the node's own counts and holds them to what the sockets saw.
-func (s *udpScene) settle(log string) error {
+func (s *run) settle(log string) error {
 	if err := s.node.Terminate(); err != nil {
 		return err
 	}
--- a/internal/scenario/flood.go
+++ b/internal/scenario/udp/flood.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"context"
@@ -23,7 +23,7 @@
 
 // flood has steady flows send: by themselves, beside a flood of flows of one datagram
 // from made-up sources, and beside one source that opens flow after flow.
-func (s *udpScene) flood(ctx context.Context, o operatorconfig.UDP) {
+func (s *run) flood(ctx context.Context, o operatorconfig.UDP) {
 	steady, every := s.Steady, steadyEvery
 	if steady > many {
 		every *= 2
--- a/internal/scenario/speed.go
+++ b/internal/scenario/udp/speed.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"context"
@@ -38,11 +38,11 @@
 
 var ways = []way{{"bare loop", "", false}, {"shared sockets", "shared", false}, {"shared sockets, header", "shared", true}, {"a socket each", "flow", false}}
 
-// UDPSpeed measures what forwarding costs: a bare loop of reads and writes, and the node
+// PlaySpeed measures what forwarding costs: a bare loop of reads and writes, and the node
 // with a socket for each next hop and for each flow, in turn and several times, as the
 // machine's own pace changes. The loop has one processor, the node as many as it is given,
 // and all others are the rig's.
-func UDPSpeed(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
+func PlaySpeed(ctx context.Context, o Options) (*testbed.Result, error) {
 	r := testbed.NewResult("udp speed", o.Seed)
 	r.ScaledDown = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
 	o.Cores = max(o.Cores, 1)
--- a/internal/scenario/speed_ends.go
+++ b/internal/scenario/udp/speed_ends.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"context"
@@ -16,9 +16,9 @@
 	"golang.org/x/net/ipv4"
 )
 
-// Bare reads batches from one address and writes them to another: what no forwarder in
+// ForwardBare reads batches from one address and writes them to another: what no forwarder in
 // Go on these sockets can go below. It runs until ctx ends.
-func Bare(ctx context.Context, listen, to string) error {
+func ForwardBare(ctx context.Context, listen, to string) error {
 	runtime.GOMAXPROCS(1)
 	in, err := net.ListenPacket("udp", listen)
 	if err != nil {
--- a/internal/scenario/speed_rates.go
+++ b/internal/scenario/udp/speed_rates.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"context"
@@ -17,12 +17,12 @@
 )
 
 // speedOf measures one way.
-func speedOf(ctx context.Context, r *testbed.Result, w way, o UDPOptions, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
+func speedOf(ctx context.Context, r *testbed.Result, w way, o Options, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	roster := fake.NewDiscovery()
 	defer roster.Close()
-	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Observer: quiet{r}, Capacity: 1_000_000})
+	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Observer: testbed.CountingObserver{Result: r}, Capacity: 1_000_000})
 	addrs, err := server.Start([]string{"n0"})
 	if err != nil {
 		return 0, nil, err
--- a/internal/scenario/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -1,4 +1,4 @@
-package scenario
+package udp
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// UDPOptions size the scene of flows of datagrams.
-type UDPOptions struct {
+// Options size the scene of flows of datagrams.
+type Options struct {
 	Seed                  uint64
 	Flows, Table, Servers int
 	Steady                int  // flows beside floods
@@ -27,8 +27,8 @@
 	Progress              io.Writer
 }
 
-// UDPMutations are the guards that the scenario can switch off.
-var UDPMutations = map[string]string{
+// Mutations are the guards that the scenario can switch off.
+var Mutations = map[string]string{
 	"drain":   "the node does not hear that a server drains",
 	"expiry":  "the node forgets no flow",
 	"silence": "the node's flows stay with a next hop that has fallen silent",
@@ -39,11 +39,14 @@
 // beacons is how many flows are under way at once.
 const beacons = 300
 
+// arrivals is how long the flows take to come at first.
+const arrivals = 3 * time.Second
+
 // clients is how many addresses they have, which come again when the flow before is over.
 const clients = 20_000
 
-type udpScene struct {
-	UDPOptions
+type run struct {
+	Options
 	*testbed.Result
 	roster  *fake.Discovery
 	servers []*fake.Server
@@ -58,14 +61,14 @@
 // hangs is how long a server answers nothing, of which the node may take noticing.
 const hangs, noticing = 4 * time.Second, 1200 * time.Millisecond
 
-// UDP plays the scene: short flows through a table of fixed size, while servers
+// Play plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
-func UDP(ctx context.Context, o UDPOptions) (*testbed.Result, error) {
-	s := &udpScene{UDPOptions: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewDiscovery(),
+func Play(ctx context.Context, o Options) (*testbed.Result, error) {
+	s := &run{Options: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewDiscovery(),
 		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
 	s.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
 	defer s.roster.Close()
-	if _, ok := UDPMutations[o.Mutation]; o.Mutation != "" && !ok {
+	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
 		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
@@ -100,7 +103,7 @@
 	}
 	for i := range o.Servers {
 		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Observer: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
+			Observer: testbed.CountingObserver{Result: s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
 			return nil, err
@@ -125,7 +128,7 @@
 	return s.Result, s.settle(filepath.Join(dir, "n0", "log"))
 }
 
-func (s *udpScene) play(ctx context.Context, to string) {
+func (s *run) play(ctx context.Context, to string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var faults sync.WaitGroup
