--- a/internal/scenario/fleet/fleet.go
+++ b/internal/scenario/fleet/fleet.go
@@ -45,7 +45,7 @@
 	surgeRate         = 6.0 // times the usual rate
 	// leastUse is the part of a cold server's budget that those who are left after a fall
 	// use: half of it is dealt, by rates that they still learn.
-	leastUse = 0.12
+	minBudgetUse = 0.12
 )
 
 // run is one run.
@@ -87,8 +87,8 @@
 	s := &run{o, built}
 	s.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		o.Nodes, rampTime, partitionDuration)
-	steps := []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "cold", Run: s.cold}, {Name: "fall", Run: s.fall}, {Name: "lies", Run: s.lies},
-		{Name: "bad", Run: s.bad}, {Name: "full", Run: s.full}}
+	steps := []testbed.Phase{{Name: "meet", Run: s.gather}, {Name: "cold", Run: s.coldServerUnderPartition}, {Name: "fall", Run: s.crashMostNodes}, {Name: "lies", Run: s.falseReports},
+		{Name: "bad", Run: s.failingServers}, {Name: "full", Run: s.rejectingServers}}
 	if err := s.Play(ctx, steps, o.Steps); err != nil {
 		return nil, err
 	}
@@ -97,18 +97,18 @@
 }
 
 // meet lets members find each other, and nodes learn the usual rate.
-func (s *run) meet(ctx context.Context, _ *mrand.Rand) error {
+func (s *run) gather(ctx context.Context, _ *mrand.Rand) error {
 	fake.Sleep(ctx, 5*time.Second)
-	from, since := s.said(), time.Now()
+	from, since := s.gossipBytes(), time.Now()
 	fake.Sleep(ctx, 3*time.Second)
-	s.SetMetric("gossip_bytes_per_node_per_s", float64(s.said()-from)/float64(len(s.Names))/time.Since(since).Seconds())
+	s.SetMetric("gossip_bytes_per_node_per_s", float64(s.gossipBytes()-from)/float64(len(s.Names))/time.Since(since).Seconds())
 	if !s.Options.WithoutAgents {
 		s.RequireAtLeast("gossip_bytes_per_node_per_s", 100)
 	}
 	return nil
 }
 
-func (s *run) said() (bytes uint64) {
+func (s *run) gossipBytes() (bytes uint64) {
 	for _, name := range s.Names {
 		n, _ := s.Proxy.Transferred(name)
 		bytes += n
@@ -117,7 +117,7 @@
 }
 
 // full has half of the servers turn every first line away, while their probes look well.
-func (s *run) full(ctx context.Context, _ *mrand.Rand) error {
+func (s *run) rejectingServers(ctx context.Context, _ *mrand.Rand) error {
 	for _, v := range s.AllServers()[:s.Options.Servers/2] {
 		v.SetFault(fake.AnswersBusy)
 	}
--- a/internal/scenario/fleet/lies.go
+++ b/internal/scenario/fleet/lies.go
@@ -16,7 +16,7 @@
 )
 
 // lies has one member with the key accuse sound servers, and strangers without it.
-func (s *run) lies(ctx context.Context, _ *mrand.Rand) error {
+func (s *run) falseReports(ctx context.Context, _ *mrand.Rand) error {
 	if s.Options.WithoutAgents {
 		return nil
 	}
--- a/internal/scenario/fleet/outlier.go
+++ b/internal/scenario/fleet/outlier.go
@@ -11,7 +11,7 @@
 
 // bad has a server answer every first line with an error, while its probes look well, and
 // then another answer nothing at all.
-func (s *run) bad(ctx context.Context, _ *mrand.Rand) error {
+func (s *run) failingServers(ctx context.Context, _ *mrand.Rand) error {
 	// What was served before has to fade (2 s), half of those who ask to see it fail, and the
 	// share is taken over a second.
 	const within = 5 * time.Second
--- a/internal/scenario/fleet/slowstart.go
+++ b/internal/scenario/fleet/slowstart.go
@@ -13,7 +13,7 @@
 
 // cold starts a server in a surgeRate of returning transactions, with gossip that is late and
 // lossy, and cuts a third of the nodes off meanwhile.
-func (s *run) cold(ctx context.Context, rng *mrand.Rand) error {
+func (s *run) coldServerUnderPartition(ctx context.Context, rng *mrand.Rand) error {
 	order := rng.Perm(len(s.Names))
 	var cut, rest []string
 	for i, n := range order {
@@ -52,7 +52,7 @@
 
 // fall kills most of the nodes with their agents; after the hold those that are left use
 // the whole of their budget for a server that is cold then.
-func (s *run) fall(ctx context.Context, rng *mrand.Rand) error {
+func (s *run) crashMostNodes(ctx context.Context, rng *mrand.Rand) error {
 	dead := rng.Perm(len(s.Names))[:len(s.Names)*5/7]
 	for _, i := range dead {
 		s.KillMachine(s.Names[i])
@@ -73,8 +73,8 @@
 	if !s.Options.WithoutAgents && most > testbed.ChanceAllowance {
 		s.AddViolation("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", most, budgetWindow))
 	}
-	if !s.Options.WithoutAgents && mean < leastUse {
-		s.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, leastUse))
+	if !s.Options.WithoutAgents && mean < minBudgetUse {
+		s.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, minBudgetUse))
 	}
 	for _, i := range dead {
 		if err := s.RestartMachine(ctx, s.Names[i]); err != nil {
--- a/internal/scenario/objectives/contracts.go
+++ b/internal/scenario/objectives/contracts.go
@@ -15,11 +15,11 @@
 // tenant is who has a contract: his realm has its name.
 type tenant struct {
 	slo.Contract
-	part float64 // of all transactions
+	trafficShare float64 // of all transactions
 }
 
 // within is the bound of all contracts that can be kept.
-const within = 40 * time.Millisecond
+const latencyBound = 40 * time.Millisecond
 
 // tenants have contracts of three priorities; one may use two zones only, one has few
 // transactions, and one is promised what no region can keep.
@@ -28,12 +28,12 @@
 		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Objective: bound, Window: 10 * time.Second,
 			Target: share, Priority: priority, Zones: zones}, part}
 	}
-	return []tenant{of("gold", 0, 0.22, 0.8, within), of("rigid", 1, 0.38, 0.8, within, s.quick, s.small), of("silver", 1, 0.13, 0.8, within),
-		of("bronze", 2, 0.17, 0.8, within), of("thin", 2, 0.03, 0.9, within), of("dream", 0, 0.07, 0.8, 5*time.Millisecond)}
+	return []tenant{of("gold", 0, 0.22, 0.8, latencyBound), of("rigid", 1, 0.38, 0.8, latencyBound, s.firstSlowZone, s.smallZone), of("silver", 1, 0.13, 0.8, latencyBound),
+		of("bronze", 2, 0.17, 0.8, latencyBound), of("thin", 2, 0.03, 0.9, latencyBound), of("dream", 0, 0.07, 0.8, 5*time.Millisecond)}
 }
 
 // agree founds an account with a route for each tenant, and sets the contracts.
-func (s *run) agree() error {
+func (s *run) createContracts() error {
 	none := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1, Routes: -1, Teams: -1}
 	accounts := account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "acme", Node: &account.Node{Limits: none}}}}
 	var contracts slo.Change
@@ -42,19 +42,19 @@
 			Match: account.Match{Tenant: t.Name}, Limits: none, Contract: t.Name}})
 		contracts.Set = append(contracts.Set, t.Contract)
 	}
-	if err := s.sign(logentry.KindAccounts, accounts); err != nil {
+	if err := s.proposeSigned(logentry.KindAccounts, accounts); err != nil {
 		return err
 	}
-	return s.sign(logentry.KindContracts, contracts)
+	return s.proposeSigned(logentry.KindContracts, contracts)
 }
 
-func (s *run) sign(kind logentry.Kind, change any) error {
+func (s *run) proposeSigned(kind logentry.Kind, change any) error {
 	body, err := json.Marshal(change)
 	if err != nil {
 		return err
 	}
-	e := logentry.Entry{Kind: kind, ProposedAt: time.Now().UnixMilli(), Reason: "the scene", Body: body, KeyName: account.KeyName(s.root.Public().(ed25519.PublicKey))}
-	e.Signature = ed25519.Sign(s.root, e.SignedBytes())
+	e := logentry.Entry{Kind: kind, ProposedAt: time.Now().UnixMilli(), Reason: "the scene", Body: body, KeyName: account.KeyName(s.rootKey.Public().(ed25519.PublicKey))}
+	e.Signature = ed25519.Sign(s.rootKey, e.SignedBytes())
 	raw, err := json.Marshal(e)
 	if err != nil {
 		return err
--- a/internal/scenario/objectives/objectives.go
+++ b/internal/scenario/objectives/objectives.go
@@ -39,7 +39,7 @@
 
 // The scene's times. Promises' own time passes ten times faster: a period is 3 s, a minute 6 s.
 const (
-	pace         = 10
+	timeScale    = 10
 	rampTime     = 2 * time.Second
 	budgetWindow = 1500 * time.Millisecond
 )
@@ -48,19 +48,19 @@
 type run struct {
 	Options
 	*testbed.Testbed
-	name   string // of the run, empty for the one that is checked
-	root   ed25519.PrivateKey
-	quick  string // the zone that is slow first,
-	second string // then,
-	small  string // and the one with one server
-	slowed map[string]time.Duration
-	full   map[string]float64 // zones' loads
+	variant        string // of the run, empty for the one that is checked
+	rootKey        ed25519.PrivateKey
+	firstSlowZone  string // the zone that is slow first,
+	secondSlowZone string // then,
+	smallZone      string // and the one with one server
+	baseDelays     map[string]time.Duration
+	zoneLoads      map[string]float64 // zones' loads
 
-	mu     sync.Mutex
-	said   []reply
-	shares []steered
-	parts  map[string][2]time.Time // steps' times
-	unkept map[string]string
+	mu           sync.Mutex
+	replies      []clientReply
+	changes      []steeringChange
+	phaseTimes   map[string][2]time.Time // steps' times
+	unmetReasons map[string]string
 }
 
 // Play plays the scene: regions become slow, are small, are left and return, while
@@ -100,9 +100,9 @@
 	}
 	first := played[0]
 	for _, s := range played[1:] {
-		s.beside(first)
+		s.compareWith(first)
 	}
-	first.ScaledDown = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, pace)
+	first.ScaledDown = fmt.Sprintf("%d nodes in %d zones, all on one machine; promises' time passes %d times faster", o.Nodes, o.Zones, timeScale)
 	return first.Result, nil
 }
 
@@ -124,76 +124,76 @@
 	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		z := &f.Fleet.Zones
 		z.Enabled, z.Zones = true, w.Zones
-		z.Steady, z.Gap, z.Ramp = in(700*time.Millisecond), in(2*time.Second), in(rampTime)
+		z.Steady, z.Gap, z.Ramp = duration(700*time.Millisecond), duration(2*time.Second), duration(rampTime)
 		z.Cold, z.Bears = testbed.SlowStartShare, o.Rate/float64(o.Servers)/testbed.UsualLoad
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
 		p := &f.Fleet.SLO
-		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, pace, stepAtMost, 0.15, in(45*time.Second)
+		p.Enabled, p.Pace, p.Step, p.Inflow, p.Patience = steered, timeScale, maxStep, 0.15, duration(45*time.Second)
 	}
 	built, err := testbed.New(ctx, w)
 	if err != nil {
 		return nil, err
 	}
 	defer built.Close()
-	s := &run{Options: o, Testbed: built, name: name, root: private, slowed: map[string]time.Duration{}, full: map[string]float64{},
-		parts: map[string][2]time.Time{}, unkept: map[string]string{}}
-	s.quick, s.second, s.small = w.Zones[1], w.Zones[0], w.Zones[2]
+	s := &run{Options: o, Testbed: built, variant: name, rootKey: private, baseDelays: map[string]time.Duration{}, zoneLoads: map[string]float64{},
+		phaseTimes: map[string][2]time.Time{}, unmetReasons: map[string]string{}}
+	s.firstSlowZone, s.secondSlowZone, s.smallZone = w.Zones[1], w.Zones[0], w.Zones[2]
 	built.SetRate(0.02) // the world's own clients are under no contract
-	for _, v := range built.ServersIn(s.small)[1:] {
+	for _, v := range built.ServersIn(s.smallZone)[1:] {
 		built.Leave(v.Name)
 	}
-	s.slow(nil)
-	built.AnswerDelay = s.answersIn
+	s.setSlowZones(nil)
+	built.AnswerDelay = s.answerDelay
 	var servers []string
 	for _, v := range built.AllServers() {
 		servers = append(servers, v.Name)
 	}
-	built.Proxy.SetOneWay(built.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: lost})
+	built.Proxy.SetOneWay(built.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: dropRatio})
 	ctx, cancel := context.WithCancel(ctx)
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer cancel()
-	parts.Go(func() { s.weather(ctx) })
-	parts.Go(func() { s.watchRecord(ctx) })
-	err = built.Play(ctx, s.script(ctx, &parts), o.Steps)
+	parts.Go(func() { s.updateZoneLoads(ctx) })
+	parts.Go(func() { s.watchAllocations(ctx) })
+	err = built.Play(ctx, s.phases(ctx, &parts), o.Steps)
 	cancel()
 	parts.Wait()
-	s.figures()
+	s.recordMetrics()
 	return s, err
 }
 
-func in(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
+func duration(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
 
 // Regions' response times, and how much longer they are where a region is over full.
 const (
-	nearest, apart = 10 * time.Millisecond, 5 * time.Millisecond
-	slowAnswer     = 60 * time.Millisecond
-	overAnswer     = 60 * time.Millisecond // at most
-	lost           = 0.004                 // of what the relay passes on: held up by a resend
+	nearestDelay, zoneDelayStep = 10 * time.Millisecond, 5 * time.Millisecond
+	slowZoneDelay               = 60 * time.Millisecond
+	maxOverloadDelay            = 60 * time.Millisecond // at most
+	dropRatio                   = 0.004                 // of what the relay passes on: held up by a resend
 )
 
 // slow makes some zones slow, all others usual; nil for none.
-func (s *run) slow(zones map[string]bool) {
+func (s *run) setSlowZones(zones map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, zone := range s.Testbed.Zones {
-		s.slowed[zone] = nearest + time.Duration(i)*apart
+		s.baseDelays[zone] = nearestDelay + time.Duration(i)*zoneDelayStep
 		if zones[zone] {
-			s.slowed[zone] = slowAnswer
+			s.baseDelays[zone] = slowZoneDelay
 		}
 	}
 }
 
 // answersIn is how long a server takes.
-func (s *run) answersIn(server string) time.Duration {
+func (s *run) answerDelay(server string) time.Duration {
 	zone := s.Zone(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.slowed[zone] + min(time.Duration(max(0, s.full[zone]-0.9)*400*float64(time.Millisecond)), overAnswer)
+	return s.baseDelays[zone] + min(time.Duration(max(0, s.zoneLoads[zone]-0.9)*400*float64(time.Millisecond)), maxOverloadDelay)
 }
 
 // weather slows regions down as they fill, as servers do.
-func (s *run) weather(ctx context.Context) {
+func (s *run) updateZoneLoads(ctx context.Context) {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -202,9 +202,9 @@
 			return
 		case now := <-tick.C:
 			for _, zone := range s.Testbed.Zones {
-				load := s.loadOf(zone, now.Add(-time.Second), now)
+				load := s.zoneLoad(zone, now.Add(-time.Second), now)
 				s.mu.Lock()
-				s.full[zone] = load
+				s.zoneLoads[zone] = load
 				s.mu.Unlock()
 			}
 		}
@@ -212,7 +212,7 @@
 }
 
 // loadOf is what a zone's servers were asked, over what they bear warm.
-func (s *run) loadOf(zone string, from, until time.Time) float64 {
+func (s *run) zoneLoad(zone string, from, until time.Time) float64 {
 	bears := float64(len(s.ServersIn(zone))) * s.Testbed.Rate / float64(s.Options.Servers) / testbed.UsualLoad
 	return float64(len(s.FirstLinesInto(zone, from, until))) / until.Sub(from).Seconds() / bears
 }
--- a/internal/scenario/objectives/observed.go
+++ b/internal/scenario/objectives/observed.go
@@ -20,38 +20,38 @@
 )
 
 // reply is a final answer as a tenant's client saw it.
-type reply struct {
-	tenant, word string
-	begun        time.Time
-	took         time.Duration
+type clientReply struct {
+	tenant, reply string
+	startedAt     time.Time
+	took          time.Duration
 }
 
 // steered is that the record has another allocation of a contract.
-type steered struct {
+type steeringChange struct {
 	slo.Allocation
-	moved float64            // of the contract, against where it went before
-	left  map[string]float64 // of it, by region
-	at    time.Time
+	movedShare float64            // of the contract, against where it went before
+	leftByZone map[string]float64 // of it, by region
+	at         time.Time
 }
 
 // clients open tenants' transactions at the rate until ctx ends.
-func (s *run) clients(ctx context.Context, all *sync.WaitGroup) {
+func (s *run) openSessions(ctx context.Context, all *sync.WaitGroup) {
 	rng := mrand.New(mrand.NewPCG(s.Options.Seed, 21))
 	tenants := s.tenants()
 	next := time.Now()
 	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / s.Testbed.Rate * float64(time.Second)))
 		at, x := 0, rng.Float64()
-		for at < len(tenants)-1 && x >= tenants[at].part {
-			x -= tenants[at].part
+		for at < len(tenants)-1 && x >= tenants[at].trafficShare {
+			x -= tenants[at].trafficShare
 			at++
 		}
 		node, addr := s.Testbed.Nodes.Pick(rng)
-		all.Go(func() { s.client(ctx, id, tenants[at].Name, node, addr) })
+		all.Go(func() { s.runClient(ctx, id, tenants[at].Name, node, addr) })
 	}
 }
 
-func (s *run) client(ctx context.Context, id int, tenant, node, addr string) {
+func (s *run) runClient(ctx context.Context, id int, tenant, node, addr string) {
 	begun := time.Now()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -73,7 +73,7 @@
 	}
 	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
 	s.mu.Lock()
-	s.said = append(s.said, reply{tenant, word, begun, took})
+	s.replies = append(s.replies, clientReply{tenant, word, begun, took})
 	s.mu.Unlock()
 	s.AddMetric("tenants_"+strings.ToLower(word), 1)
 	if word == "UP" {
@@ -82,7 +82,7 @@
 }
 
 // watchRecord notes each change of an allocation.
-func (s *run) watchRecord(ctx context.Context) {
+func (s *run) watchAllocations(ctx context.Context) {
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
@@ -97,24 +97,24 @@
 				continue
 			}
 			if !ok { // it was drawn evenly among the next hops that it may use
-				old.Shares = s.even(s.tenant(a.Contract))
+				old.Shares = s.evenShares(s.tenant(a.Contract))
 			}
-			x := steered{Allocation: a, at: time.Now(), left: map[string]float64{}}
+			x := steeringChange{Allocation: a, at: time.Now(), leftByZone: map[string]float64{}}
 			for _, zone := range s.Testbed.Zones {
-				x.moved += max(a.Shares[zone]-old.Shares[zone], 0)
-				x.left[zone] = old.Shares[zone] - a.Shares[zone]
+				x.movedShare += max(a.Shares[zone]-old.Shares[zone], 0)
+				x.leftByZone[zone] = old.Shares[zone] - a.Shares[zone]
 			}
 			if last[a.Contract] = a; a.UnmetReason != "" {
-				s.unkept[a.Contract] = a.UnmetReason
+				s.unmetReasons[a.Contract] = a.UnmetReason
 			}
-			s.shares = append(s.shares, x)
+			s.changes = append(s.changes, x)
 		}
 		s.mu.Unlock()
 	}
 }
 
 // even is where a contract goes that was never steered.
-func (s *run) even(t tenant) map[string]float64 {
+func (s *run) evenShares(t tenant) map[string]float64 {
 	shares, all := map[string]float64{}, 0.0
 	for _, v := range s.AllServers() {
 		if len(t.Zones) == 0 || slices.Contains(t.Zones, v.Zone) {
@@ -129,10 +129,10 @@
 }
 
 // moves are the changes of allocations between two times.
-func (s *run) moves(from, until time.Time) (list []steered) {
+func (s *run) changesBetween(from, until time.Time) (list []steeringChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, x := range s.shares {
+	for _, x := range s.changes {
 		if x.at.After(from) && x.at.Before(until) {
 			list = append(list, x)
 		}
@@ -142,18 +142,18 @@
 
 // seen is a bound as a client sees it: his node asks a next hop for its load before it sends
 // him there, and his own way comes on top.
-func (t *tenant) seen() time.Duration { return t.Objective + 10*time.Millisecond }
+func (t *tenant) boundAtClient() time.Duration { return t.Objective + 10*time.Millisecond }
 
 // kept is the share of a tenant's windows of one second between two times in which his
 // promise held, as his clients saw it; and how many windows there were.
-func (s *run) kept(t tenant, from, until time.Time) (share float64, n int) {
-	window := t.Window / pace
+func (s *run) keptShare(t tenant, from, until time.Time) (share float64, n int) {
+	window := t.Window / timeScale
 	all, good := map[int64]float64{}, map[int64]float64{}
 	s.mu.Lock()
-	for _, r := range s.said {
-		if r.tenant == t.Name && !r.begun.Before(from) && r.begun.Before(until) {
-			at := int64(r.begun.Sub(from) / window)
-			if all[at]++; r.word == "UP" && r.took <= t.seen() {
+	for _, r := range s.replies {
+		if r.tenant == t.Name && !r.startedAt.Before(from) && r.startedAt.Before(until) {
+			at := int64(r.startedAt.Sub(from) / window)
+			if all[at]++; r.reply == "UP" && r.took <= t.boundAtClient() {
 				good[at]++
 			}
 		}
@@ -170,7 +170,7 @@
 
 // into is the share of a tenant's first lines that went into a zone, as its servers saw it;
 // and how many he had in all.
-func (s *run) into(name, zone string, from, until time.Time) (share float64, all int) {
+func (s *run) shareIntoZone(name, zone string, from, until time.Time) (share float64, all int) {
 	n := 0
 	for _, l := range s.FirstLines(from, until) {
 		if strings.HasPrefix(l.Key, name+"-") {
@@ -183,24 +183,24 @@
 }
 
 // fullest is the greatest load of a zone in any two seconds.
-func (s *run) fullest(zone string, from, until time.Time) (most float64) {
+func (s *run) peakLoad(zone string, from, until time.Time) (most float64) {
 	const over = 2 * time.Second
 	for at := from; !at.Add(over).After(until); at = at.Add(over / 4) {
-		most = max(most, s.loadOf(zone, at, at.Add(over)))
+		most = max(most, s.zoneLoad(zone, at, at.Add(over)))
 	}
 	return most
 }
 
 // given is the greatest part of what a zone bears that allocations between two times gave it,
 // by what tenants ask for.
-func (s *run) given(zone string, from, until time.Time) (most float64) {
+func (s *run) peakAllocatedLoad(zone string, from, until time.Time) (most float64) {
 	now := map[string]float64{}
 	for _, t := range s.tenants() {
-		now[t.Name] = t.part * s.even(t)[zone]
+		now[t.Name] = t.trafficShare * s.evenShares(t)[zone]
 	}
 	bears := float64(len(s.ServersIn(zone))) / float64(s.Options.Servers) / testbed.UsualLoad
-	for _, x := range s.moves(time.Time{}, until) {
-		now[x.Contract] = s.tenant(x.Contract).part * max(x.Shares[zone]-x.Overflow, 0)
+	for _, x := range s.changesBetween(time.Time{}, until) {
+		now[x.Contract] = s.tenant(x.Contract).trafficShare * max(x.Shares[zone]-x.Overflow, 0)
 		sum := 0.0
 		for _, part := range now {
 			sum += part
--- a/internal/scenario/resume/abuse.go
+++ b/internal/scenario/resume/abuse.go
@@ -13,16 +13,16 @@
 )
 
 // abuse presents tokens a second time, as another client, and spoiled.
-func (s *run) abuse(ctx context.Context) {
+func (s *run) presentBadTokens(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.Options.Seed, 99))
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for fake.Sleep(ctx, 80*time.Millisecond) {
 		s.mu.Lock()
-		n := len(s.tokens)
-		var t shown
+		n := len(s.recentTokens)
+		var t issuedToken
 		if n > 0 {
-			t = s.tokens[rng.IntN(n)]
+			t = s.recentTokens[rng.IntN(n)]
 		}
 		s.mu.Unlock()
 		if n == 0 {
@@ -33,18 +33,18 @@
 		case kind < 2:
 			// A retry that comes late; while the client may still be on its way it
 			// would only take the token from it.
-			if time.Since(t.at) < 3*time.Second {
+			if time.Since(t.issuedAt) < 3*time.Second {
 				continue
 			}
 			s.AddMetric("presented again", 1)
 		case kind == 2: // the latest, before its owner is back
 			s.mu.Lock()
-			t = s.tokens[len(s.tokens)-1]
+			t = s.recentTokens[len(s.recentTokens)-1]
 			s.mu.Unlock()
 			t.key, t.group = "thief", fmt.Sprintf("g%d", rng.IntN(4))
 			s.AddMetric("stolen", 1)
 		default:
-			t.token = spoil(own, t.token)
+			t.token = corruptToken(own, t.token)
 			s.AddMetric("spoiled", 1)
 		}
 		wg.Go(func() { fake.PresentToken(ctx, s.nodes, own, t.key, t.group, "feed", t.token, testbed.Patience) })
@@ -52,7 +52,7 @@
 }
 
 // spoil makes a token that nobody minted.
-func spoil(rng *rand.Rand, token string) string {
+func corruptToken(rng *rand.Rand, token string) string {
 	const digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
 	b := []byte(token)
 	switch rng.IntN(3) {
@@ -68,30 +68,30 @@
 }
 
 // watch compares what clients have with the truth of two seconds ago.
-func (s *run) watch(ctx context.Context) {
+func (s *run) watchFreshness(ctx context.Context) {
 	for fake.Sleep(ctx, 200*time.Millisecond) {
 		for _, c := range s.clients {
-			before := time.Now().Add(-freshness)
+			before := time.Now().Add(-freshnessBound)
 			versions, since := c.Versions()
 			if c.WithoutResumption || since.IsZero() || since.After(before) {
 				continue
 			}
-			s.compare(c, versions, before)
+			s.checkVersions(c, versions, before)
 		}
 	}
 }
 
-func (s *run) compare(c *fake.Client, versions map[int]uint64, at time.Time) {
+func (s *run) checkVersions(c *fake.Client, versions map[int]uint64, at time.Time) {
 	s.AddMetric("comparisons", 1)
 	for l, v := range s.feed.State(c.Group, s.feed.Head(c.Group, at)) {
 		if versions[l] < v {
-			s.AddViolation("fresh", fmt.Sprintf("%s has version %d of %s's listing %d, %v after version %d", c.Key, versions[l], c.Group, l, freshness, v))
+			s.AddViolation("fresh", fmt.Sprintf("%s has version %d of %s's listing %d, %v after version %d", c.Key, versions[l], c.Group, l, freshnessBound, v))
 		}
 	}
 }
 
 // settled holds every client to the latest of everything.
-func (s *run) settled() {
+func (s *run) checkFinalVersions() {
 	for _, c := range s.clients {
 		if c.WithoutResumption {
 			continue
@@ -101,11 +101,11 @@
 			s.AddViolation("fresh", c.Key+" has no stream at the end")
 			continue
 		}
-		s.compare(c, versions, time.Now())
+		s.checkVersions(c, versions, time.Now())
 	}
 }
 
-func (s *run) report(ctx context.Context) {
+func (s *run) reportProgress(ctx context.Context) {
 	for n := 1; fake.Sleep(ctx, time.Second); n++ {
 		if s.Progress != nil {
 			fmt.Fprintf(s.Progress, "\r%3d s  %5.0f moves  %5.0f resumed  %5.0f snapshots  %3.0f drains  %2.0f restarts  %2.0f nodes killed ",
--- a/internal/scenario/resume/play.go
+++ b/internal/scenario/resume/play.go
@@ -21,7 +21,7 @@
 	changes, still := context.WithCancel(ctx)
 	defer still()
 	wg.Go(func() {
-		for fake.Sleep(changes, changeEvery) {
+		for fake.Sleep(changes, changeInterval) {
 			s.feed.Step()
 		}
 	})
@@ -35,9 +35,9 @@
 			c.Run(ctx)
 		})
 	}
-	wg.Go(func() { s.abuse(ctx) })
-	wg.Go(func() { s.watch(changes) })
-	wg.Go(func() { s.report(ctx) })
+	wg.Go(func() { s.presentBadTokens(ctx) })
+	wg.Go(func() { s.watchFreshness(changes) })
+	wg.Go(func() { s.reportProgress(ctx) })
 	fake.Sleep(ctx, arrivals+time.Second)
 	rotated := false
 	limit := time.Now().Add(time.Duration(s.Moves)*250*time.Millisecond + 30*time.Second)
@@ -48,11 +48,11 @@
 		}
 		if !rotated && s.Metric("moves") > float64(s.Moves)/2 {
 			rotated = true
-			if err := s.rotate(); err != nil {
+			if err := s.rotateKey(); err != nil {
 				return err
 			}
 		}
-		if err := s.fault(ctx, &wg); err != nil {
+		if err := s.injectFault(ctx, &wg); err != nil {
 			return err
 		}
 		if !fake.Sleep(ctx, time.Second) {
@@ -62,20 +62,20 @@
 	// The end: faults heal, changes stop, and all that was ever said has to arrive.
 	fake.Sleep(ctx, 4*time.Second)
 	still()
-	fake.Sleep(ctx, freshness+testbed.SocketDelay)
-	s.settled()
+	fake.Sleep(ctx, freshnessBound+testbed.SocketDelay)
+	s.checkFinalVersions()
 	cancel()
 	return nil
 }
 
 // rotate puts a second key in force while the scene runs.
-func (s *run) rotate() error {
-	if _, _, err := keyfile.Create(s.keys, time.Now().Add(time.Second)); err != nil {
+func (s *run) rotateKey() error {
+	if _, _, err := keyfile.Create(s.keyFile, time.Now().Add(time.Second)); err != nil {
 		return err
 	}
 	s.AddMetric("key rotations", 1)
 	for _, n := range s.nodes {
 		n.Process.Signal(syscall.SIGHUP)
 	}
-	return s.loadKeys()
+	return s.loadKeyRing()
 }
--- a/internal/scenario/resume/resume.go
+++ b/internal/scenario/resume/resume.go
@@ -38,58 +38,58 @@
 }
 
 const (
-	freshness = 2 * time.Second
+	freshnessBound = 2 * time.Second
 )
 
 // run is one run.
 type run struct {
 	Options
 	*testbed.Result
-	rng     *rand.Rand
-	feed    *fake.Feed
-	roster  *fake.Discovery
-	servers []*fake.Server
-	nodes   testbed.Nodes
-	clients []*fake.Client
-	names   []string
-	keys    string
+	rng       *rand.Rand
+	feed      *fake.Feed
+	discovery *fake.Discovery
+	servers   []*fake.Server
+	nodes     testbed.Nodes
+	clients   []*fake.Client
+	nodeNames []string
+	keyFile   string
 
-	mu      sync.Mutex
-	ring    *resumetoken.KeyRing
-	tokens  []shown                          // the latest, for those who present them again
-	owners  map[string]string                // by nonce likewise: the client that was given it
-	honored map[string]string                // by nonce in hexadecimal digits: where
-	gaps    *hdrhistogram.Histogram          // microseconds
-	setups  map[bool]*hdrhistogram.Histogram // to UP, by whether a token was presented
-	begins  map[bool]*hdrhistogram.Histogram // from UP to the stream's begin, likewise
-	deck    []int                            // the kinds of faults that come next
-	busy    map[string]time.Time             // a server's or node's next fault, at the earliest
+	mu               sync.Mutex
+	keyRing          *resumetoken.KeyRing
+	recentTokens     []issuedToken                    // the latest, for those who present them again
+	ownerByNonce     map[string]string                // by nonce likewise: the client that was given it
+	honoredByNonce   map[string]string                // by nonce in hexadecimal digits: where
+	deliveryGaps     *hdrhistogram.Histogram          // microseconds
+	setupTimes       map[bool]*hdrhistogram.Histogram // to UP, by whether a token was presented
+	streamStartTimes map[bool]*hdrhistogram.Histogram // from UP to the stream's begin, likewise
+	pendingFaults    []int                            // the kinds of faults that come next
+	nextFaultAt      map[string]time.Time             // a server's or node's next fault, at the earliest
 }
 
-type shown struct {
+type issuedToken struct {
 	key, group, token string
-	at                time.Time
+	issuedAt          time.Time
 }
 
 // Play plays the scene: moves over drains, relief, restarts and kills, while
 // listings change, with tokens presented twice, stolen and forged.
 func Play(ctx context.Context, o Options) (*testbed.Result, error) {
 	r := testbed.NewResult("resume", o.Seed)
-	s := &run{Options: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), roster: fake.NewDiscovery(),
-		feed:   fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
-		owners: map[string]string{}, honored: map[string]string{}, busy: map[string]time.Time{},
-		gaps: hdrhistogram.New(1, 60_000_000, 3), setups: twoHistograms(), begins: twoHistograms()}
+	s := &run{Options: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), discovery: fake.NewDiscovery(),
+		feed:         fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
+		ownerByNonce: map[string]string{}, honoredByNonce: map[string]string{}, nextFaultAt: map[string]time.Time{},
+		deliveryGaps: hdrhistogram.New(1, 60_000_000, 3), setupTimes: newHistograms(), streamStartTimes: newHistograms()}
 	r.ScaledDown = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
-		int(time.Second/changeEvery))
+		int(time.Second/changeInterval))
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if err := s.build(ctx, dir); err != nil {
+	if err := s.start(ctx, dir); err != nil {
 		return nil, err
 	}
-	defer s.roster.Close()
+	defer s.discovery.Close()
 	defer s.nodes.KillAll()
 	if err := s.play(ctx); err != nil {
 		return nil, err
@@ -97,23 +97,23 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	s.figures()
+	s.recordMetrics()
 	return r, nil
 }
 
-func twoHistograms() map[bool]*hdrhistogram.Histogram {
+func newHistograms() map[bool]*hdrhistogram.Histogram {
 	return map[bool]*hdrhistogram.Histogram{false: hdrhistogram.New(1, 60_000_000, 3), true: hdrhistogram.New(1, 60_000_000, 3)}
 }
 
 // changeEvery is the pace of changes: each listing of a group changes every few
 // seconds, so that a change that was missed stays missed for long enough to see.
-const changeEvery = 10 * time.Millisecond
+const changeInterval = 10 * time.Millisecond
 
 // arrivals is how long the clients take to come at first.
 const arrivals = 3 * time.Second
 
 // build makes the parties and starts them.
-func (s *run) build(ctx context.Context, dir string) error {
+func (s *run) start(ctx context.Context, dir string) error {
 	binary, mutation := s.Binary, ""
 	if _, ok := Mutations[s.Mutation]; s.Mutation != "" && !ok {
 		return fmt.Errorf("no mutation %q", s.Mutation)
@@ -125,30 +125,30 @@
 		}
 		mutation = s.Mutation
 	}
-	s.keys = filepath.Join(dir, "keys")
-	if _, _, err := keyfile.Create(s.keys, time.Now().Add(-time.Second)); err != nil {
+	s.keyFile = filepath.Join(dir, "keys")
+	if _, _, err := keyfile.Create(s.keyFile, time.Now().Add(-time.Second)); err != nil {
 		return err
 	}
-	if err := s.loadKeys(); err != nil {
+	if err := s.loadKeyRing(); err != nil {
 		return err
 	}
 	peers := map[string]string{}
 	for i := range s.Nodes {
 		name := fmt.Sprintf("n%d", i)
-		s.names = append(s.names, name)
+		s.nodeNames = append(s.nodeNames, name)
 		addr, err := testbed.Reserve()
 		if err != nil {
 			return err
 		}
 		peers[name] = addr
 	}
-	for i, name := range s.names {
+	for i, name := range s.nodeNames {
 		own := operatorconfig.Default()
 		own.Log.Level = "warn"
-		own.Resume.Enabled, own.Resume.Keys = true, s.keys
+		own.Resume.Enabled, own.Resume.Keys = true, s.keyFile
 		own.Resume.ReplayGuard.Dir = filepath.Join(dir, name, "ledger")
 		own.Resume.ReplayGuard.Listen, own.Resume.ReplayGuard.Peers = peers[name], peers
-		discovery, err := s.roster.Listen(name)
+		discovery, err := s.discovery.Listen(name)
 		if err != nil {
 			return err
 		}
@@ -169,12 +169,12 @@
 			o.History = 2 // it has trimmed what most positions would need
 		}
 		v := fake.NewServer(o)
-		addrs, err := v.Start(s.names)
+		addrs, err := v.Start(s.nodeNames)
 		if err != nil {
 			return err
 		}
 		s.servers = append(s.servers, v)
-		s.roster.Set(o.Name, fake.Active, time.Time{}, addrs)
+		s.discovery.Set(o.Name, fake.Active, time.Time{}, addrs)
 	}
 	for _, n := range s.nodes {
 		if err := n.Start(ctx); err != nil {
@@ -184,13 +184,13 @@
 	return nil
 }
 
-func (s *run) loadKeys() error {
-	ring, err := keyfile.Load(s.keys)
+func (s *run) loadKeyRing() error {
+	ring, err := keyfile.Load(s.keyFile)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	s.ring = ring
+	s.keyRing = ring
 	s.mu.Unlock()
 	return nil
 }
--- a/internal/scenario/resume/seen.go
+++ b/internal/scenario/resume/seen.go
@@ -13,7 +13,7 @@
 
 // Opened holds first lines to the drain rule.
 func (s *run) Opened(o fake.Opened) {
-	s.CheckDrain(s.roster, o.Node, o.Server, o.Key, o.At)
+	s.CheckDrain(s.discovery, o.Node, o.Server, o.Key, o.At)
 }
 
 // Started holds streams to the rule of one use.
@@ -29,9 +29,9 @@
 		return
 	}
 	s.mu.Lock()
-	where, twice := s.honored[v.Nonce]
-	s.honored[v.Nonce] = v.Server + " by " + v.Node
-	owner := s.owners[v.Nonce]
+	where, twice := s.honoredByNonce[v.Nonce]
+	s.honoredByNonce[v.Nonce] = v.Server + " by " + v.Node
+	owner := s.ownerByNonce[v.Nonce]
 	s.mu.Unlock()
 	if twice {
 		s.AddViolation("token-once", fmt.Sprintf("%s honoured at %s and at %s by %s", v.Nonce, where, v.Server, v.Node))
@@ -50,7 +50,7 @@
 	if answer == "UP" {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = s.setups[presented].RecordValue(took.Microseconds())
+		_ = s.setupTimes[presented].RecordValue(took.Microseconds())
 	}
 }
 
@@ -63,7 +63,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, err := resumetoken.Open(s.ring, token)
+	t, err := resumetoken.Open(s.keyRing, token)
 	if err != nil {
 		s.AddViolation("token", fmt.Sprintf("%s was given %q: %v", key, token, err))
 		return
@@ -71,16 +71,16 @@
 	if t.Issuer != t.Arbiter {
 		s.AddMetric("tokens with a peer as arbiter", 1)
 	}
-	s.owners[hex.EncodeToString(t.Nonce[:])] = key
-	if s.tokens = append(s.tokens, shown{key, group, token, time.Now()}); len(s.tokens) > 300 {
-		s.tokens = s.tokens[1:]
+	s.ownerByNonce[hex.EncodeToString(t.Nonce[:])] = key
+	if s.recentTokens = append(s.recentTokens, issuedToken{key, group, token, time.Now()}); len(s.recentTokens) > 300 {
+		s.recentTokens = s.recentTokens[1:]
 	}
 }
 
 // Streaming keeps the gap in delivery.
 func (s *run) Streaming(_ string, presented, resumed bool, wait, gap time.Duration) {
 	s.mu.Lock()
-	_ = s.begins[presented].RecordValue(wait.Microseconds())
+	_ = s.streamStartTimes[presented].RecordValue(wait.Microseconds())
 	s.mu.Unlock()
 	if gap == 0 {
 		return
@@ -90,16 +90,16 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = s.gaps.RecordValue(gap.Microseconds())
+	_ = s.deliveryGaps.RecordValue(gap.Microseconds())
 }
 
-func (s *run) figures() {
-	s.SetMetric("gap ms p50", float64(s.gaps.ValueAtQuantile(50))/1000)
-	s.SetMetric("gap ms p99", float64(s.gaps.ValueAtQuantile(99))/1000)
+func (s *run) recordMetrics() {
+	s.SetMetric("gap ms p50", float64(s.deliveryGaps.ValueAtQuantile(50))/1000)
+	s.SetMetric("gap ms p99", float64(s.deliveryGaps.ValueAtQuantile(99))/1000)
 	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
 		for _, q := range []float64{50, 99} {
-			s.SetMetric(fmt.Sprintf("set-up ms p%g %s", q, name), float64(s.setups[presented].ValueAtQuantile(q))/1000)
-			s.SetMetric(fmt.Sprintf("stream begins ms p%g %s", q, name), float64(s.begins[presented].ValueAtQuantile(q))/1000)
+			s.SetMetric(fmt.Sprintf("set-up ms p%g %s", q, name), float64(s.setupTimes[presented].ValueAtQuantile(q))/1000)
+			s.SetMetric(fmt.Sprintf("stream begins ms p%g %s", q, name), float64(s.streamStartTimes[presented].ValueAtQuantile(q))/1000)
 		}
 	}
 	s.SetMetric("bytes of resumptions against snapshots", s.Metric("bytes of resumptions")/max(1, s.Metric("bytes of snapshots in their place")))
--- a/internal/scenario/testbed/cold.go
+++ b/internal/scenario/testbed/cold.go
@@ -8,47 +8,47 @@
 
 // budget is how many connections a server may be sent within a window, so long after its
 // start. A warm one can take what fills it: its usual share makes the usual load.
-func (w *Testbed) budget(age time.Duration) float64 {
-	return coldTimes * w.warm(age) * w.Rate / float64(w.Options.Servers) / UsualLoad * w.BudgetWindow.Seconds()
+func (bed *Testbed) windowBudget(age time.Duration) float64 {
+	return budgetMultiple * bed.warmShare(age) * bed.Rate / float64(bed.Options.Servers) / UsualLoad * bed.BudgetWindow.Seconds()
 }
 
 // Against returns the most that a server that began cold was sent in any window, as a
 // multiple of what it may be sent, and its mean over the time.
-func (w *Testbed) BudgetUse(server string, started, until time.Time) (most, mean float64) {
+func (bed *Testbed) BudgetUse(server string, started, until time.Time) (most, mean float64) {
 	var at []time.Time
-	for _, l := range w.FirstLines(started, until) {
+	for _, l := range bed.FirstLines(started, until) {
 		if l.Server == server {
 			at = append(at, l.At)
 		}
 	}
 	first := 0
 	for i, t := range at {
-		if t.Sub(started) > w.Ramp {
+		if t.Sub(started) > bed.Ramp {
 			break
 		}
-		for t.Sub(at[first]) > w.BudgetWindow {
+		for t.Sub(at[first]) > bed.BudgetWindow {
 			first++
 		}
-		most = max(most, float64(i-first+1)/w.budget(t.Sub(started)))
+		most = max(most, float64(i-first+1)/bed.windowBudget(t.Sub(started)))
 	}
 	if span := until.Sub(started); span > 0 {
-		mean = float64(len(at)) / (span.Seconds() / w.BudgetWindow.Seconds()) / w.budget(span/2)
+		mean = float64(len(at)) / (span.Seconds() / bed.BudgetWindow.Seconds()) / bed.windowBudget(span/2)
 	}
 	return most, mean
 }
 
 // Dealt returns the most that a cold server was sent within one epoch, as a multiple of what
 // its members' parts come to: half of its budget, and a token of the fraction.
-func (w *Testbed) EpochBudgetUse(server string, started time.Time) (most float64) {
+func (bed *Testbed) EpochBudgetUse(server string, started time.Time) (most float64) {
 	count := map[int64]float64{}
-	for _, l := range w.FirstLines(started, started.Add(w.Ramp)) {
+	for _, l := range bed.FirstLines(started, started.Add(bed.Ramp)) {
 		if l.Server == server {
-			count[l.At.UnixNano()/int64(w.BudgetWindow)]++
+			count[l.At.UnixNano()/int64(bed.BudgetWindow)]++
 		}
 	}
 	for epoch, n := range count {
-		end := time.Unix(0, (epoch+1)*int64(w.BudgetWindow)).Sub(started)
-		most = max(most, n/(w.budget(end)/2+1))
+		end := time.Unix(0, (epoch+1)*int64(bed.BudgetWindow)).Sub(started)
+		most = max(most, n/(bed.windowBudget(end)/2+1))
 	}
 	return most
 }
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -17,7 +17,7 @@
 
 // settings is what the rig's nodes are told of their world: the platform's form,
 // with a short ramp, so that a scene need not wait for servers to warm up.
-const settings = `{"classes":[{"name":"feed","objective":0.3,"deadline":1.8,"effect":"read_like"}],
+const platformSettings = `{"classes":[{"name":"feed","objective":0.3,"deadline":1.8,"effect":"read_like"}],
 "domain":{"groups":true,"messageAim":[0.06],"mode":"proxy"},"granularity":0.004,"nInstances":%d,"slotNo":%d,
 "guarantees":{"askWithin":10,"ColdFrom":0.12,"drainGrace":0.3,"graceToAnswer":0.016,"rampTime":%d,"tipAfter":1.5,"tipMultiple":3},
 "limits":{"connectTimeout":0.25,"maxRetryAfter":1,"mostTries":6,"probing":true,"retryAfter":true},
@@ -41,9 +41,9 @@
 	Addr    string
 	Process *Process
 
-	mu   sync.Mutex
-	gone time.Time // since when the front sends nobody there; zero while it does
-	fell time.Time // when it was last killed or told to end
+	mu        sync.Mutex
+	goneSince time.Time // since when the front sends nobody there; zero while it does
+	stoppedAt time.Time // when it was last killed or told to end
 }
 
 // Reserve returns an address on which nobody listens.
@@ -72,7 +72,7 @@
 	}
 	platform := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":%d,"memory_mb":192,"sockets":%d},"settings":%s}`,
 		o.Name, addr, o.Discovery, 0x8c1f30d27a5be964+uint64(o.Number), max(o.Cores, 1), cmp.Or(o.Sockets, 4096),
-		fmt.Sprintf(settings, o.Nodes, o.Number, cmp.Or(o.Ramp, 2), cmp.Or(o.Zone, "a")))
+		fmt.Sprintf(platformSettings, o.Nodes, o.Number, cmp.Or(o.Ramp, 2), cmp.Or(o.Zone, "a")))
 	if err := os.WriteFile(filepath.Join(o.Dir, "config.json"), []byte(platform), 0o600); err != nil {
 		return nil, err
 	}
@@ -110,21 +110,21 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.gone = time.Time{}
+	n.goneSince = time.Time{}
 	return nil
 }
 
 // Kill ends the node outright.
 func (n *Node) Kill() {
-	n.leave(0)
+	n.markGone(0)
 	n.Process.Kill()
 }
 
 // leave has the front send nobody to the node any more from so much later on. Start ends it.
-func (n *Node) leave(later time.Duration) {
+func (n *Node) markGone(later time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.gone, n.fell = time.Now().Add(later), time.Now()
+	n.goneSince, n.stoppedAt = time.Now().Add(later), time.Now()
 }
 
 // Restart asks the node to end, as a planned restart does, and starts it again.
@@ -137,7 +137,7 @@
 
 // Terminate asks the node to end, as a planned restart does, and waits until it has.
 func (n *Node) Terminate() error {
-	n.leave(300 * time.Millisecond) // the front notices a moment later, as the protocol has it
+	n.markGone(300 * time.Millisecond) // the front notices a moment later, as the protocol has it
 	n.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-n.Process.Done():
--- a/internal/scenario/testbed/nodes.go
+++ b/internal/scenario/testbed/nodes.go
@@ -14,7 +14,7 @@
 	for at, tried := rng.IntN(len(ns)), 0; ; at, tried = (at+1)%len(ns), tried+1 {
 		n := ns[at]
 		n.mu.Lock()
-		there := n.gone.IsZero() || now.Before(n.gone)
+		there := n.goneSince.IsZero() || now.Before(n.goneSince)
 		n.mu.Unlock()
 		if there || tried > len(ns) {
 			return n.Name, n.Addr
@@ -28,7 +28,7 @@
 		if n.Name == node {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return !n.gone.IsZero() || n.fell.After(since)
+			return !n.goneSince.IsZero() || n.stoppedAt.After(since)
 		}
 	}
 	return false
--- a/internal/scenario/testbed/proc.go
+++ b/internal/scenario/testbed/proc.go
@@ -19,10 +19,10 @@
 	Name, Binary, Dir, Log string
 	Args, Env              []string // Env beside this process's own
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	done  chan struct{}
-	meant bool // it was ended by the scene
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
+	endedOnPurpose bool // it was ended by the scene
 }
 
 // Start starts it.
@@ -42,7 +42,7 @@
 	go func() { _ = cmd.Wait(); _ = log.Close(); close(done) }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.done, p.meant = cmd, done, false
+	p.cmd, p.done, p.endedOnPurpose = cmd, done, false
 	return nil
 }
 
@@ -58,7 +58,7 @@
 // Kill ends it outright, stopped or not, and waits until it is gone.
 func (p *Process) Kill() {
 	p.mu.Lock()
-	p.meant = true
+	p.endedOnPurpose = true
 	cmd, done := p.cmd, p.done
 	p.mu.Unlock()
 	if cmd != nil {
@@ -112,7 +112,7 @@
 // Sound is an error, with the end of its log, where it has ended by itself.
 func (p *Process) CheckExit() error {
 	p.mu.Lock()
-	done, meant := p.done, p.meant
+	done, meant := p.done, p.endedOnPurpose
 	p.mu.Unlock()
 	select {
 	case <-done:
--- a/internal/scenario/testbed/result.go
+++ b/internal/scenario/testbed/result.go
@@ -33,31 +33,31 @@
 	Metrics    map[string]float64 `json:"figures"`
 	ScaledDown string             `json:"scaled"`
 
-	mu    sync.Mutex
-	begun time.Time
-	count map[string]int
+	mu          sync.Mutex
+	startedAt   time.Time
+	countByRule map[string]int
 }
 
 // most violations are kept of one rule; the others are counted.
-const most = 20
+const maxViolationsPerRule = 20
 
 // NewResult starts a scene.
 func NewResult(scene string, seed uint64) *Result {
 	return &Result{Scenario: scene, Seed: seed, Violations: []Violation{}, Metrics: map[string]float64{},
-		begun: time.Now(), count: map[string]int{}}
+		startedAt: time.Now(), countByRule: map[string]int{}}
 }
 
 // Broken notes that a rule broke.
 func (r *Result) AddViolation(rule, detail string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.count[rule]++; r.count[rule] <= most {
-		r.Violations = append(r.Violations, Violation{rule, time.Since(r.begun).Milliseconds(), detail})
+	if r.countByRule[rule]++; r.countByRule[rule] <= maxViolationsPerRule {
+		r.Violations = append(r.Violations, Violation{rule, time.Since(r.startedAt).Milliseconds(), detail})
 	}
 }
 
 // Since is how long the scene has run.
-func (r *Result) Elapsed() time.Duration { return time.Since(r.begun) }
+func (r *Result) Elapsed() time.Duration { return time.Since(r.startedAt) }
 
 // Add adds to a figure.
 func (r *Result) AddMetric(figure string, x float64) {
@@ -98,11 +98,11 @@
 	for _, name := range slices.Sorted(maps.Keys(r.Metrics)) {
 		fmt.Fprintf(t, "  %s\t%.6g\n", name, r.Metrics[name])
 	}
-	for _, rule := range slices.Sorted(maps.Keys(r.count)) {
-		fmt.Fprintf(t, "  BROKEN %s\t%d times\n", rule, r.count[rule])
+	for _, rule := range slices.Sorted(maps.Keys(r.countByRule)) {
+		fmt.Fprintf(t, "  BROKEN %s\t%d times\n", rule, r.countByRule[rule])
 	}
 	slices.SortStableFunc(r.Violations, func(a, b Violation) int { return cmp.Compare(a.AtMs, b.AtMs) })
-	for _, v := range r.Violations[:min(len(r.Violations), most)] {
+	for _, v := range r.Violations[:min(len(r.Violations), maxViolationsPerRule)] {
 		fmt.Fprintf(t, "    %d ms  %s: %s\n", v.AtMs, v.Rule, v.Detail)
 	}
 	if r.ScaledDown != "" {
--- a/internal/scenario/testbed/seen.go
+++ b/internal/scenario/testbed/seen.go
@@ -22,24 +22,24 @@
 }
 
 // Opened is told of each first line.
-func (w *Testbed) Opened(o fake.Opened) {
-	if w.AnswerDelay != nil {
-		defer func() { time.Sleep(w.AnswerDelay(o.Server)) }()
+func (bed *Testbed) Opened(o fake.Opened) {
+	if bed.AnswerDelay != nil {
+		defer func() { time.Sleep(bed.AnswerDelay(o.Server)) }()
 	}
-	w.CheckDrain(w.Discovery, o.Node, o.Server, o.Key, o.At)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.lines = append(w.lines, FirstLine{o.Server, w.zones[o.Server], o.Node, o.Key, o.At})
+	bed.CheckDrain(bed.Discovery, o.Node, o.Server, o.Key, o.At)
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
+	bed.firstLines = append(bed.firstLines, FirstLine{o.Server, bed.zones[o.Server], o.Node, o.Key, o.At})
 }
 
 // Started is told of streams, which no client of a world asks for.
-func (w *Testbed) Started(fake.Started) {}
+func (bed *Testbed) Started(fake.Started) {}
 
 // Lines are those that came between two times.
-func (w *Testbed) FirstLines(from, until time.Time) (list []FirstLine) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, l := range slices.Backward(w.lines) {
+func (bed *Testbed) FirstLines(from, until time.Time) (list []FirstLine) {
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
+	for _, l := range slices.Backward(bed.firstLines) {
 		// They stand nearly in order: each is noted within a moment of its time.
 		if l.At.Before(from.Add(-time.Second)) {
 			break
@@ -53,29 +53,29 @@
 }
 
 // Into are those of Lines that went into a zone.
-func (w *Testbed) FirstLinesInto(zone string, from, until time.Time) []FirstLine {
-	return slices.DeleteFunc(w.FirstLines(from, until), func(l FirstLine) bool { return l.Zone != zone })
+func (bed *Testbed) FirstLinesInto(zone string, from, until time.Time) []FirstLine {
+	return slices.DeleteFunc(bed.FirstLines(from, until), func(l FirstLine) bool { return l.Zone != zone })
 }
 
 // Shares is what each server got between two times, over the mean of all.
-func (w *Testbed) ServerShares(from, until time.Time) map[string]float64 {
-	share, list := map[string]float64{}, w.FirstLines(from, until)
+func (bed *Testbed) ServerShares(from, until time.Time) map[string]float64 {
+	share, list := map[string]float64{}, bed.FirstLines(from, until)
 	for _, l := range list {
 		share[l.Server]++
 	}
 	for id := range share {
-		share[id] /= float64(len(list)) / float64(len(w.AllServers()))
+		share[id] /= float64(len(list)) / float64(len(bed.AllServers()))
 	}
 	return share
 }
 
 // Served is the share of the transactions begun between two times that were served, and how
 // many there were.
-func (w *Testbed) ServedShare(from, until time.Time) (share float64, all int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+func (bed *Testbed) ServedShare(from, until time.Time) (share float64, all int) {
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
 	up := 0
-	for _, a := range w.answers {
+	for _, a := range bed.answers {
 		if !a.StartedAt.Before(from) && a.StartedAt.Before(until) {
 			if all++; a.Reply == "UP" {
 				up++
@@ -86,19 +86,19 @@
 }
 
 // Retried holds all first lines of the scene to the budget of retries.
-func (w *Testbed) CheckRetryBudget() {
-	w.mu.Lock()
+func (bed *Testbed) CheckRetryBudget() {
+	bed.mu.Lock()
 	firsts := map[string]bool{}
-	for _, l := range w.lines {
+	for _, l := range bed.firstLines {
 		firsts[l.Key] = true
 	}
-	all := float64(len(w.lines))
-	w.mu.Unlock()
+	all := float64(len(bed.firstLines))
+	bed.mu.Unlock()
 	share := (all - float64(len(firsts))) / float64(max(len(firsts), 1))
-	w.SetMetric("retries_per_first", share)
-	w.SetMetric("transactions_sent", float64(len(firsts)))
-	if most := 2*w.RetryRatio + 0.01; !w.WithoutAgents && share > most {
-		w.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
+	bed.SetMetric("retries_per_first", share)
+	bed.SetMetric("transactions_sent", float64(len(firsts)))
+	if most := 2*bed.RetryRatio + 0.01; !bed.WithoutAgents && share > most {
+		bed.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
 	}
-	w.RequireAtLeast("transactions_sent", 300)
+	bed.RequireAtLeast("transactions_sent", 300)
 }
--- a/internal/scenario/testbed/world.go
+++ b/internal/scenario/testbed/world.go
@@ -48,10 +48,10 @@
 const (
 	// ColdFrom is the part of what it can do warm that a server can do as it starts.
 	SlowStartShare = 0.12
-	coldTimes      = 3.0
+	budgetMultiple = 3.0
 	// UsualLoad is of a warm server: its usual share of the usual rate makes it.
-	UsualLoad = 0.3
-	warmLoad  = 0.29 // reported: a little under the least usual load, so that a draw decides
+	UsualLoad        = 0.3
+	reportedWarmLoad = 0.29 // reported: a little under the least usual load, so that a draw decides
 )
 
 // World is one run of a scene.
@@ -68,15 +68,15 @@
 	Fleet       operatorconfig.Fleet              // what all members have alike
 	AnswerDelay func(server string) time.Duration // until a first line is answered; nil for at once
 
-	peers []string // where the relay takes members' messages
-	zones map[string]string
+	gossipAddresses []string // where the relay takes members' messages
+	zones           map[string]string
 
-	mu      sync.Mutex
-	servers []*Server
-	lines   []FirstLine
-	answers []ClientAnswer
-	rate    float64 // transactions a second now
-	again   bool    // those beyond the usual rate come again
+	mu          sync.Mutex
+	servers     []*Server
+	firstLines  []FirstLine
+	answers     []ClientAnswer
+	rate        float64 // transactions a second now
+	extraReturn bool    // those beyond the usual rate come again
 }
 
 // New builds a world and starts all of it but its clients. End ends it; where New fails,
@@ -105,112 +105,112 @@
 func SiblingBinary(binary, name string) string { return filepath.Join(filepath.Dir(binary), name) }
 
 // End ends all processes and stand-ins.
-func (w *Testbed) Close() {
-	w.Nodes.KillAll()
-	for _, a := range w.Agents {
+func (bed *Testbed) Close() {
+	bed.Nodes.KillAll()
+	for _, a := range bed.Agents {
 		a.Kill()
 	}
-	w.Proxy.Close()
-	w.Discovery.Close()
-	for _, v := range w.AllServers() {
+	bed.Proxy.Close()
+	bed.Discovery.Close()
+	for _, v := range bed.AllServers() {
 		v.Kill()
 	}
-	_ = os.RemoveAll(w.Dir)
+	_ = os.RemoveAll(bed.Dir)
 }
 
 // Zone is where a node, an agent or a server stands.
-func (w *Testbed) Zone(name string) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.zones[name]
+func (bed *Testbed) Zone(name string) string {
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
+	return bed.zones[name]
 }
 
 // In names the nodes of a zone; there says whether those in it or all others.
-func (w *Testbed) NodesIn(zone string, there bool) (names []string) {
-	for _, name := range w.Names {
-		if (w.Zone(name) == zone) == there {
+func (bed *Testbed) NodesIn(zone string, there bool) (names []string) {
+	for _, name := range bed.Names {
+		if (bed.Zone(name) == zone) == there {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
-func (w *Testbed) place(name string, number int) string {
-	zone := w.Zones[number%len(w.Zones)]
-	w.mu.Lock()
-	w.zones[name] = zone
-	w.mu.Unlock()
-	w.Proxy.SetZone(name, zone)
+func (bed *Testbed) placeInZone(name string, number int) string {
+	zone := bed.Zones[number%len(bed.Zones)]
+	bed.mu.Lock()
+	bed.zones[name] = zone
+	bed.mu.Unlock()
+	bed.Proxy.SetZone(name, zone)
 	return zone
 }
 
 // build makes the parties and starts them.
-func (w *Testbed) build(ctx context.Context) error {
-	if err := w.key(); err != nil {
+func (bed *Testbed) build(ctx context.Context) error {
+	if err := bed.writeKeyFile(); err != nil {
 		return err
 	}
-	w.Fleet = operatorconfig.Default().Fleet
-	w.Fleet.Key, w.Fleet.Retries = w.KeyFile, w.RetryRatio
-	w.Fleet.Hold, w.Fleet.Epoch = operatorconfig.Duration{Duration: w.LeaseTimeout}, operatorconfig.Duration{Duration: w.BudgetWindow}
+	bed.Fleet = operatorconfig.Default().Fleet
+	bed.Fleet.Key, bed.Fleet.Retries = bed.KeyFile, bed.RetryRatio
+	bed.Fleet.Hold, bed.Fleet.Epoch = operatorconfig.Duration{Duration: bed.LeaseTimeout}, operatorconfig.Duration{Duration: bed.BudgetWindow}
 	var own []operatorconfig.File
-	for i := range w.Options.Nodes {
+	for i := range bed.Options.Nodes {
 		name := fmt.Sprintf("n%d", i)
-		w.Names = append(w.Names, name)
-		w.place(name, i)
-		f, err := w.member(name, i)
+		bed.Names = append(bed.Names, name)
+		bed.placeInZone(name, i)
+		f, err := bed.newMemberConfig(name, i)
 		if err != nil {
 			return err
 		}
 		own = append(own, f)
 	}
-	for i := range w.Options.Servers {
-		if _, err := w.Join(fmt.Sprintf("s%d", i), w.Zones[i%len(w.Zones)], false); err != nil {
+	for i := range bed.Options.Servers {
+		if _, err := bed.Join(fmt.Sprintf("s%d", i), bed.Zones[i%len(bed.Zones)], false); err != nil {
 			return err
 		}
 	}
-	for i, name := range w.Names {
+	for i, name := range bed.Names {
 		f := &own[i]
-		if !w.WithoutAgents {
-			f.Fleet.Peers, f.Fleet.ReplicatedLog.Voters = w.peers, w.Fleet.ReplicatedLog.Voters
-			if w.OperatorConfig != nil {
-				w.OperatorConfig(name, f)
+		if !bed.WithoutAgents {
+			f.Fleet.Peers, f.Fleet.ReplicatedLog.Voters = bed.gossipAddresses, bed.Fleet.ReplicatedLog.Voters
+			if bed.OperatorConfig != nil {
+				bed.OperatorConfig(name, f)
 			}
 		}
-		if err := w.start(ctx, name, i, f); err != nil {
+		if err := bed.startNode(ctx, name, i, f); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (w *Testbed) key() error {
+func (bed *Testbed) writeKeyFile() error {
 	raw := make([]byte, 32)
 	if _, err := rand.Read(raw); err != nil {
 		return err
 	}
-	w.KeyFile = filepath.Join(w.Dir, "fleet.key")
-	return os.WriteFile(w.KeyFile, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
+	bed.KeyFile = filepath.Join(bed.Dir, "fleet.key")
+	return os.WriteFile(bed.KeyFile, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
 }
 
 // start starts a node with its agent.
-func (w *Testbed) start(ctx context.Context, name string, number int, own *operatorconfig.File) error {
-	discovery, err := w.Discovery.Listen(name)
+func (bed *Testbed) startNode(ctx context.Context, name string, number int, own *operatorconfig.File) error {
+	discovery, err := bed.Discovery.Listen(name)
 	if err != nil {
 		return err
 	}
-	n, err := NewNode(NodeOptions{Binary: w.Binary, Name: name, Dir: filepath.Join(w.Dir, name), Discovery: discovery, Number: number,
-		Nodes: w.Options.Nodes, OperatorConfig: own, Mutation: w.Mutation, Ramp: int(w.Ramp.Seconds()), Zone: w.Zone(name)})
+	n, err := NewNode(NodeOptions{Binary: bed.Binary, Name: name, Dir: filepath.Join(bed.Dir, name), Discovery: discovery, Number: number,
+		Nodes: bed.Options.Nodes, OperatorConfig: own, Mutation: bed.Mutation, Ramp: int(bed.Ramp.Seconds()), Zone: bed.Zone(name)})
 	if err != nil {
 		return err
 	}
-	if !w.WithoutAgents {
-		a := w.agent(n, own)
+	if !bed.WithoutAgents {
+		a := bed.newAgent(n, own)
 		if err := a.Start(); err != nil {
 			return err
 		}
-		w.Agents[name] = a
+		bed.Agents[name] = a
 	}
-	w.Nodes = append(w.Nodes, n)
+	bed.Nodes = append(bed.Nodes, n)
 	return n.Start(ctx)
 }
 
--- a/internal/scenario/udp/faults.go
+++ b/internal/scenario/udp/faults.go
@@ -14,48 +14,48 @@
 )
 
 // faults has servers drain, fall and come back, two at a time at most.
-func (s *run) faults(ctx context.Context) {
+func (s *run) injectFaults(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(s.Options.Seed, 11))
 	for n := 0; fake.Sleep(ctx, 1500*time.Millisecond); n++ {
 		v := s.servers[rng.IntN(len(s.servers))]
-		s.mark(v.Name)
+		s.markDisturbed(v.Name)
 		switch n % 4 {
 		case 1:
-			s.hang(ctx, v)
+			s.hangServer(ctx, v)
 		case 2:
 			s.AddMetric("servers killed", 1)
-			s.BounceServer(ctx, s.roster, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
-			s.mark(v.Name)
+			s.BounceServer(ctx, s.discovery, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
+			s.markDisturbed(v.Name)
 		default:
 			s.AddMetric("drains", 1)
-			s.roster.Set(v.Name, fake.Leaving, time.Time{}, nil)
+			s.discovery.Set(v.Name, fake.Leaving, time.Time{}, nil)
 			fake.Sleep(ctx, 1200*time.Millisecond)
-			s.mark(v.Name)
-			s.roster.Set(v.Name, fake.Active, time.Time{}, nil)
+			s.markDisturbed(v.Name)
+			s.discovery.Set(v.Name, fake.Active, time.Time{}, nil)
 		}
 	}
 }
 
 // hang has a server answer nothing for a while, but for its probes.
-func (s *run) hang(ctx context.Context, v *fake.Server) {
+func (s *run) hangServer(ctx context.Context, v *fake.Server) {
 	s.AddMetric("servers hung", 1)
 	s.mu.Lock()
-	s.hung[v.Name] = time.Now()
+	s.hungSince[v.Name] = time.Now()
 	s.mu.Unlock()
 	v.Hang(true)
-	fake.Sleep(ctx, hangs)
+	fake.Sleep(ctx, hangDuration)
 	v.Hang(false)
 	s.mu.Lock()
-	delete(s.hung, v.Name)
+	delete(s.hungSince, v.Name)
 	s.mu.Unlock()
-	s.mark(v.Name)
+	s.markDisturbed(v.Name)
 }
 
 // heard counts what comes while a server answers nothing, and what of it comes to that one
 // although the node has had the time to notice. The lock is held.
-func (s *run) heard(d fake.Datagram) {
-	for server, since := range s.hung {
-		if d.At.Sub(since) < noticing {
+func (s *run) countWhileHung(d fake.Datagram) {
+	for server, since := range s.hungSince {
+		if d.At.Sub(since) < silenceDetection {
 			continue
 		}
 		s.AddMetric("while one was silent", 1)
@@ -65,14 +65,14 @@
 	}
 }
 
-func (s *run) mark(server string) {
+func (s *run) markDisturbed(server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ill[server] = time.Now()
+	s.disturbedAt[server] = time.Now()
 }
 
 // datagram holds what a server got to the rules.
-func (s *run) datagram(d fake.Datagram) {
+func (s *run) observeDatagram(d fake.Datagram) {
 	if strings.HasPrefix(d.Flow, "spoofed") {
 		s.AddMetric("flood arrived", 1)
 		return
@@ -80,28 +80,28 @@
 	if strings.HasPrefix(d.Flow, "loud") {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if _, known := s.at[d.Flow]; !known {
-			s.at[d.Flow] = d.Server
+		if _, known := s.lastServer[d.Flow]; !known {
+			s.lastServer[d.Flow] = d.Server
 			s.AddMetric("one source's flows that went on", 1)
 		}
 		return
 	}
-	s.CheckDrain(s.roster, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
+	s.CheckDrain(s.discovery, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
 	s.AddMetric("arrived", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.heard(d)
-	if was := s.at[d.Flow]; was != "" && was != d.Server {
+	s.countWhileHung(d)
+	if was := s.lastServer[d.Flow]; was != "" && was != d.Server {
 		s.AddMetric("moved in mid-flow", 1)
-		if ill := s.ill[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
+		if ill := s.disturbedAt[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
 			s.AddMetric("moved without a fault", 1)
 		}
 	}
-	s.at[d.Flow] = d.Server
+	s.lastServer[d.Flow] = d.Server
 }
 
 // settle reads the node's own counts and holds them to what the sockets saw.
-func (s *run) settle(log string) error {
+func (s *run) checkNodeCounters(log string) error {
 	if err := s.node.Terminate(); err != nil {
 		return err
 	}
--- a/internal/scenario/udp/flood.go
+++ b/internal/scenario/udp/flood.go
@@ -14,21 +14,21 @@
 const (
 	// steadyEvery is how often each steady flow sends, twice as seldom if they are many: the
 	// scene's senders are on the node's machine.
-	steadyEvery, many = 200 * time.Millisecond, 5000
+	steadyInterval, manySteadyFlows = 200 * time.Millisecond, 5000
 	// phase is how long each part of the scene takes.
-	phase = 6 * time.Second
+	phaseDuration = 6 * time.Second
 	// flooders send as fast as they can.
-	flooders = 2
+	floodSenders = 2
 )
 
 // flood has steady flows send: by themselves, beside a flood of flows of one datagram
 // from made-up sources, and beside one source that opens flow after flow.
-func (s *run) flood(ctx context.Context, o operatorconfig.UDP) {
-	steady, every := s.Steady, steadyEvery
-	if steady > many {
+func (s *run) playFlood(ctx context.Context, o operatorconfig.UDP) {
+	steady, every := s.Steady, steadyInterval
+	if steady > manySteadyFlows {
 		every *= 2
 	}
-	s.ScaledDown = fmt.Sprintf("%d steady flows, %d flooding senders on the node's own machine", steady, flooders)
+	s.ScaledDown = fmt.Sprintf("%d steady flows, %d flooding senders on the node's own machine", steady, floodSenders)
 	ctx, cancel := context.WithCancel(ctx)
 	var sent, came atomic.Int64
 	var wg sync.WaitGroup
@@ -44,7 +44,7 @@
 	}
 	share := func(part string) float64 {
 		s0, c0 := sent.Load(), came.Load()
-		fake.Sleep(ctx, phase)
+		fake.Sleep(ctx, phaseDuration)
 		x := float64(came.Load()-c0) / max(1, float64(sent.Load()-s0))
 		s.SetMetric("steady answered "+part, x)
 		return x
@@ -52,7 +52,7 @@
 	fake.Sleep(ctx, arrivals+2*o.After.Duration+time.Second)
 	alone := share("alone")
 	spoofing, stop := context.WithCancel(ctx)
-	for i := range flooders {
+	for i := range floodSenders {
 		wg.Go(func() {
 			n := fake.Flood(spoofing, o.Listen, "spoofed", uint32(1<<22+i<<20), true)
 			s.AddMetric("flood sent", float64(n))
--- a/internal/scenario/udp/speed.go
+++ b/internal/scenario/udp/speed.go
@@ -17,26 +17,26 @@
 
 const (
 	// speedFlows send at once, each from a socket of its own.
-	speedFlows = 64
+	senderFlows = 64
 	// speedBatch is how many datagrams a system call takes, in the loop as in the node.
-	speedBatch = 64
+	batchSize = 64
 	// speedPhase is how long each measurement takes.
-	speedPhase = time.Second
+	measurementTime = time.Second
 	// speedRounds are repeats, of which the median counts.
-	speedRounds = 5
+	measurementRounds = 5
 	// pacedRate is how many datagrams a second are sent where their delay is measured.
 	pacedRate = 10_000
 	// atLeast is the share of the bare loop's datagrams that the node is to forward.
-	atLeast = 0.8
+	minRelativeRate = 0.8
 )
 
 // way is one forwarder.
-type way struct {
+type forwarder struct {
 	name, mode string // a bare loop without a mode
 	proxy      bool
 }
 
-var ways = []way{{"bare loop", "", false}, {"shared sockets", "shared", false}, {"shared sockets, header", "shared", true}, {"a socket each", "flow", false}}
+var forwarders = []forwarder{{"bare loop", "", false}, {"shared sockets", "shared", false}, {"shared sockets, header", "shared", true}, {"a socket each", "flow", false}}
 
 // PlaySpeed measures what forwarding costs: a bare loop of reads and writes, and the node
 // with a socket for each next hop and for each flow, in turn and several times, as the
@@ -46,7 +46,7 @@
 	r := testbed.NewResult("udp speed", o.Seed)
 	r.ScaledDown = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
 	o.Cores = max(o.Cores, 1)
-	apart, restore := pinned(o.Cores)
+	apart, restore := reserveProcessors(o.Cores)
 	defer restore()
 	if !apart {
 		r.ScaledDown += "; too few processors to keep one for the forwarder"
@@ -57,9 +57,9 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	figures := map[string][]float64{}
-	for round := range speedRounds {
-		for i, w := range ways {
-			rate, delay, err := speedOf(ctx, r, w, o, filepath.Join(dir, fmt.Sprintf("%d.%d", round, i)), apart)
+	for round := range measurementRounds {
+		for i, w := range forwarders {
+			rate, delay, err := measure(ctx, r, w, o, filepath.Join(dir, fmt.Sprintf("%d.%d", round, i)), apart)
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", w.name, err)
 			}
@@ -69,11 +69,11 @@
 				figures[name] = append(figures[name], float64(delay.ValueAtQuantile(q)))
 			}
 			if i > 0 {
-				base := figures[ways[0].name+": forwarded a second"][round]
+				base := figures[forwarders[0].name+": forwarded a second"][round]
 				figures[w.name+": against the bare loop"] = append(figures[w.name+": against the bare loop"], rate/max(1, base))
 			}
 			if o.Progress != nil {
-				fmt.Fprintf(o.Progress, "\rround %d of %d  %-24s %8.0f a second ", round+1, speedRounds, w.name, rate)
+				fmt.Fprintf(o.Progress, "\rround %d of %d  %-24s %8.0f a second ", round+1, measurementRounds, w.name, rate)
 			}
 		}
 	}
@@ -81,13 +81,13 @@
 		slices.Sort(list)
 		r.SetMetric(name, list[len(list)/2])
 	}
-	r.RequireAtLeast("shared sockets: against the bare loop", atLeast)
+	r.RequireAtLeast("shared sockets: against the bare loop", minRelativeRate)
 	return r, nil
 }
 
 // pinned keeps this process off the first processors, two for each core of the node's, as
 // two may be one core's, if there are enough. restore undoes it.
-func pinned(cores int) (ok bool, restore func()) {
+func reserveProcessors(cores int) (ok bool, restore func()) {
 	var all, rest unix.CPUSet
 	if unix.SchedGetaffinity(0, &all) != nil || all.Count() < 2*cores+2 {
 		return false, func() {}
@@ -109,7 +109,7 @@
 }
 
 // alone runs what starts a process, so that it has the first processors, one of each two.
-func alone(apart bool, cores int, start func() error) error {
+func startPinned(apart bool, cores int, start func() error) error {
 	if !apart {
 		return start()
 	}
--- a/internal/scenario/udp/speed_ends.go
+++ b/internal/scenario/udp/speed_ends.go
@@ -32,7 +32,7 @@
 	_ = in.(*net.UDPConn).SetReadBuffer(4 << 20)
 	_ = out.(*net.UDPConn).SetWriteBuffer(4 << 20)
 	from, into := ipv4.NewPacketConn(in), ipv4.NewPacketConn(out.(*net.UDPConn))
-	read, written := make([]ipv4.Message, speedBatch), make([]ipv4.Message, speedBatch)
+	read, written := make([]ipv4.Message, batchSize), make([]ipv4.Message, batchSize)
 	for i := range read {
 		read[i].Buffers = [][]byte{make([]byte, 65507)}
 		written[i].Buffers = make([][]byte, 1)
@@ -59,14 +59,14 @@
 }
 
 // sink takes what arrives at a feed server's port.
-type sink struct {
-	conn  *net.UDPConn
-	came  atomic.Int64
-	mu    sync.Mutex
-	delay *hdrhistogram.Histogram // microseconds, from the time that each datagram carries
+type receiver struct {
+	conn     *net.UDPConn
+	received atomic.Int64
+	mu       sync.Mutex
+	delay    *hdrhistogram.Histogram // microseconds, from the time that each datagram carries
 }
 
-func newSink(ctx context.Context, addr string) (*sink, error) {
+func newReceiver(ctx context.Context, addr string) (*receiver, error) {
 	at, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, err
@@ -77,12 +77,12 @@
 	}
 	_ = conn.SetReadBuffer(8 << 20)
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	s := &sink{conn: conn}
-	go s.take()
+	s := &receiver{conn: conn}
+	go s.readLoop()
 	return s, nil
 }
 
-func (s *sink) take() {
+func (s *receiver) readLoop() {
 	packets := ipv4.NewPacketConn(s.conn)
 	messages := make([]ipv4.Message, 256)
 	for i := range messages {
@@ -93,7 +93,7 @@
 		if err != nil {
 			return // closed
 		}
-		s.came.Add(int64(n))
+		s.received.Add(int64(n))
 		s.mu.Lock()
 		if s.delay != nil {
 			now := time.Now().UnixNano()
@@ -109,7 +109,7 @@
 }
 
 // listen has delays noted from now on, and returns what was noted before.
-func (s *sink) listen(on bool) *hdrhistogram.Histogram {
+func (s *receiver) recordDelays(on bool) *hdrhistogram.Histogram {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	was := s.delay
@@ -120,11 +120,11 @@
 }
 
 // speaker sends for a share of the flows.
-type speaker struct{ conns []*ipv4.PacketConn }
+type sender struct{ conns []*ipv4.PacketConn }
 
-func newSpeakers(ctx context.Context, to string, count int) ([]speaker, error) {
-	list := make([]speaker, count)
-	for i := range speedFlows {
+func newSenders(ctx context.Context, to string, count int) ([]sender, error) {
+	list := make([]sender, count)
+	for i := range senderFlows {
 		conn, err := (&net.Dialer{LocalAddr: &net.UDPAddr{IP: net.IPv4(127, 0, 2, byte(i+1))}}).DialContext(ctx, "udp", to)
 		if err != nil {
 			return nil, err
@@ -138,7 +138,7 @@
 
 // say sends bursts of one flow after the other: as fast as it goes, or so many datagrams
 // a second.
-func (s speaker) say(ctx context.Context, rate float64) {
+func (s sender) send(ctx context.Context, rate float64) {
 	burst := 16
 	if rate > 0 {
 		burst = 1
--- a/internal/scenario/udp/speed_rates.go
+++ b/internal/scenario/udp/speed_rates.go
@@ -17,7 +17,7 @@
 )
 
 // speedOf measures one way.
-func speedOf(ctx context.Context, r *testbed.Result, w way, o Options, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
+func measure(ctx context.Context, r *testbed.Result, w forwarder, o Options, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	roster := fake.NewDiscovery()
@@ -29,7 +29,7 @@
 	}
 	defer server.Kill()
 	roster.Set("s0", fake.Active, time.Time{}, addrs)
-	in, err := newSink(ctx, addrs["n0"])
+	in, err := newReceiver(ctx, addrs["n0"])
 	if err != nil {
 		return 0, nil, err
 	}
@@ -43,7 +43,7 @@
 			return 0, nil, err
 		}
 		cmd := exec.CommandContext(ctx, self, "bare", listen, addrs["n0"])
-		if err := alone(apart, 1, cmd.Start); err != nil {
+		if err := startPinned(apart, 1, cmd.Start); err != nil {
 			return 0, nil, err
 		}
 		defer func() { cancel(); _ = cmd.Wait() }()
@@ -58,40 +58,40 @@
 		if err != nil {
 			return 0, nil, err
 		}
-		if err := alone(apart, o.Cores, func() error { return node.Start(ctx) }); err != nil {
+		if err := startPinned(apart, o.Cores, func() error { return node.Start(ctx) }); err != nil {
 			return 0, nil, err
 		}
 		defer node.Kill()
 	}
-	speakers, err := newSpeakers(ctx, listen, 2*o.Cores)
+	speakers, err := newSenders(ctx, listen, 2*o.Cores)
 	if err != nil {
 		return 0, nil, err
 	}
-	if err := settled(ctx, speakers, in); err != nil {
+	if err := awaitAllFlows(ctx, speakers, in); err != nil {
 		return 0, nil, err
 	}
 	say := func(rate float64) {
-		speaking, stop := context.WithTimeout(ctx, speedPhase)
+		speaking, stop := context.WithTimeout(ctx, measurementTime)
 		defer stop()
 		var wg sync.WaitGroup
 		for _, s := range speakers {
-			wg.Go(func() { s.say(speaking, rate/float64(len(speakers))) })
+			wg.Go(func() { s.send(speaking, rate/float64(len(speakers))) })
 		}
 		wg.Wait()
 	}
-	in.listen(true)
+	in.recordDelays(true)
 	say(pacedRate)
-	delay = in.listen(false)
-	came, begun := in.came.Load(), time.Now()
+	delay = in.recordDelays(false)
+	came, begun := in.received.Load(), time.Now()
 	say(0)
 	fake.Sleep(ctx, 20*time.Millisecond)
-	return float64(in.came.Load()-came) / time.Since(begun).Seconds(), delay, ctx.Err()
+	return float64(in.received.Load()-came) / time.Since(begun).Seconds(), delay, ctx.Err()
 }
 
 // settled waits until every flow has its place.
-func settled(ctx context.Context, speakers []speaker, in *sink) error {
+func awaitAllFlows(ctx context.Context, speakers []sender, in *receiver) error {
 	for begun := time.Now(); ; {
-		before, sent := in.came.Load(), 0
+		before, sent := in.received.Load(), 0
 		for _, s := range speakers {
 			for _, c := range s.conns {
 				n, _ := c.WriteBatch([]ipv4.Message{{Buffers: [][]byte{make([]byte, 64)}}}, 0)
@@ -101,11 +101,11 @@
 		if !fake.Sleep(ctx, 200*time.Millisecond) {
 			return ctx.Err()
 		}
-		if sent == speedFlows && in.came.Load()-before >= speedFlows {
+		if sent == senderFlows && in.received.Load()-before >= senderFlows {
 			return nil
 		}
 		if time.Since(begun) > 10*time.Second {
-			return fmt.Errorf("of %d flows %d go through", speedFlows, in.came.Load()-before)
+			return fmt.Errorf("of %d flows %d go through", senderFlows, in.received.Load()-before)
 		}
 	}
 }
--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -37,37 +37,37 @@
 }
 
 // beacons is how many flows are under way at once.
-const beacons = 300
+const concurrentFlows = 300
 
 // arrivals is how long the flows take to come at first.
 const arrivals = 3 * time.Second
 
 // clients is how many addresses they have, which come again when the flow before is over.
-const clients = 20_000
+const clientAddresses = 20_000
 
 type run struct {
 	Options
 	*testbed.Result
-	roster  *fake.Discovery
-	servers []*fake.Server
-	node    *testbed.Node
+	discovery *fake.Discovery
+	servers   []*fake.Server
+	node      *testbed.Node
 
-	mu   sync.Mutex
-	at   map[string]string    // flow: the server that had its latest datagram
-	ill  map[string]time.Time // server: when it last began to drain, fell or came back
-	hung map[string]time.Time // server: since when it answers nothing
+	mu          sync.Mutex
+	lastServer  map[string]string    // flow: the server that had its latest datagram
+	disturbedAt map[string]time.Time // server: when it last began to drain, fell or came back
+	hungSince   map[string]time.Time // server: since when it answers nothing
 }
 
 // hangs is how long a server answers nothing, of which the node may take noticing.
-const hangs, noticing = 4 * time.Second, 1200 * time.Millisecond
+const hangDuration, silenceDetection = 4 * time.Second, 1200 * time.Millisecond
 
 // Play plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
 func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	s := &run{Options: o, Result: testbed.NewResult("udp", o.Seed), roster: fake.NewDiscovery(),
-		at: map[string]string{}, ill: map[string]time.Time{}, hung: map[string]time.Time{}}
-	s.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", beacons)
-	defer s.roster.Close()
+	s := &run{Options: o, Result: testbed.NewResult("udp", o.Seed), discovery: fake.NewDiscovery(),
+		lastServer: map[string]string{}, disturbedAt: map[string]time.Time{}, hungSince: map[string]time.Time{}}
+	s.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
+	defer s.discovery.Close()
 	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
 		return nil, fmt.Errorf("no mutation %q", o.Mutation)
 	}
@@ -82,7 +82,7 @@
 			return nil, err
 		}
 	}
-	discovery, err := s.roster.Listen("n0")
+	discovery, err := s.discovery.Listen("n0")
 	if err != nil {
 		return nil, err
 	}
@@ -103,55 +103,55 @@
 	}
 	for i := range o.Servers {
 		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Observer: testbed.CountingObserver{Result: s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
+			Observer: testbed.CountingObserver{Result: s.Result}, Capacity: 100 * concurrentFlows, Datagrams: s.observeDatagram, Late: 0.05})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
 			return nil, err
 		}
 		defer v.Kill()
 		s.servers = append(s.servers, v)
-		s.roster.Set(v.Name, fake.Active, time.Time{}, addrs)
+		s.discovery.Set(v.Name, fake.Active, time.Time{}, addrs)
 	}
 	if err := s.node.Start(ctx); err != nil {
 		return nil, err
 	}
 	defer s.node.Kill()
 	if o.Flood {
-		s.flood(ctx, own.UDP)
+		s.playFlood(ctx, own.UDP)
 	} else {
-		s.play(ctx, own.UDP.Listen)
+		s.playShortFlows(ctx, own.UDP.Listen)
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	fake.Sleep(ctx, 2*time.Second+own.UDP.Idle.Duration/2) // all are silent, and forgotten
-	return s.Result, s.settle(filepath.Join(dir, "n0", "log"))
+	return s.Result, s.checkNodeCounters(filepath.Join(dir, "n0", "log"))
 }
 
-func (s *run) play(ctx context.Context, to string) {
+func (s *run) playShortFlows(ctx context.Context, to string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var faults sync.WaitGroup
-	faults.Go(func() { s.faults(ctx) })
+	faults.Go(func() { s.injectFaults(ctx) })
 	var next atomic.Int64
 	var flows sync.WaitGroup
-	for i := range beacons {
+	for i := range concurrentFlows {
 		flows.Go(func() {
-			fake.Sleep(ctx, time.Duration(i)*arrivals/beacons)
+			fake.Sleep(ctx, time.Duration(i)*arrivals/concurrentFlows)
 			for ctx.Err() == nil {
 				n := next.Add(1)
 				if n > int64(s.Flows) {
 					return
 				}
 				name := fmt.Sprintf("f%d", n)
-				answered, strange := fake.ProbeFlow(ctx, to, name, uint32(n%clients), 3, 15*time.Millisecond)
+				answered, strange := fake.ProbeFlow(ctx, to, name, uint32(n%clientAddresses), 3, 15*time.Millisecond)
 				s.AddMetric("answered", float64(answered))
 				s.AddMetric("sent", 3)
 				for _, text := range strange {
 					s.AddViolation("stray", fmt.Sprintf("%s got %q", name, text))
 				}
 				s.mu.Lock()
-				delete(s.at, name)
+				delete(s.lastServer, name)
 				s.mu.Unlock()
 			}
 		})
