--- a/internal/scenario/fleet/fleet.go
+++ b/internal/scenario/fleet/fleet.go
@@ -57,73 +57,73 @@
 // Play plays the scene: nodes with agents that gossip through a relay with faults, while
 // a cold server comes in a surgeRate and a third of the nodes is cut off, servers fail, and
 // false members speak.
-func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Mutation)
+func Play(ctx context.Context, options Options) (*testbed.Result, error) {
+	if _, ok := Mutations[options.Mutation]; options.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", options.Mutation)
 	}
-	w := testbed.Options{Scenario: "fleet", Seed: o.Seed, Nodes: o.Nodes, Servers: o.Servers, Rate: o.Rate, WithoutAgents: o.WithoutAgents, Binary: o.Binary,
-		Mutation: o.Mutation, Progress: o.Progress, Ramp: rampTime, BudgetWindow: budgetWindow, LeaseTimeout: leaseTimeout, RetryRatio: retryRatio}
-	if o.Mutation != "" {
+	bedOptions := testbed.Options{Scenario: "fleet", Seed: options.Seed, Nodes: options.Nodes, Servers: options.Servers, Rate: options.Rate, WithoutAgents: options.WithoutAgents, Binary: options.Binary,
+		Mutation: options.Mutation, Progress: options.Progress, Ramp: rampTime, BudgetWindow: budgetWindow, LeaseTimeout: leaseTimeout, RetryRatio: retryRatio}
+	if options.Mutation != "" {
 		dir, err := os.MkdirTemp("", "coralscenario-")
 		if err != nil {
 			return nil, err
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		program := &w.Agent
+		program := &bedOptions.Agent
 		name := "coralagent"
-		if o.Mutation == "deaf" {
-			program, name = &w.Binary, "coralrelay"
-			w.Agent = testbed.SiblingBinary(o.Binary, "coralagent")
+		if options.Mutation == "deaf" {
+			program, name = &bedOptions.Binary, "coralrelay"
+			bedOptions.Agent = testbed.SiblingBinary(options.Binary, "coralagent")
 		}
 		if *program, err = testbed.BuildMutated(ctx, dir, name); err != nil {
 			return nil, err
 		}
 	}
-	built, err := testbed.New(ctx, w)
+	bed, err := testbed.New(ctx, bedOptions)
 	if err != nil {
 		return nil, err
 	}
-	defer built.Close()
-	s := &run{o, built}
-	s.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
-		o.Nodes, rampTime, partitionDuration)
-	steps := []testbed.Phase{{Name: "meet", Run: s.gather}, {Name: "cold", Run: s.coldServerUnderPartition}, {Name: "fall", Run: s.crashMostNodes}, {Name: "lies", Run: s.falseReports},
-		{Name: "bad", Run: s.failingServers}, {Name: "full", Run: s.rejectingServers}}
-	if err := s.Play(ctx, steps, o.Steps); err != nil {
+	defer bed.Close()
+	r := &run{options, bed}
+	r.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
+		options.Nodes, rampTime, partitionDuration)
+	steps := []testbed.Phase{{Name: "meet", Run: r.gather}, {Name: "cold", Run: r.coldServerUnderPartition}, {Name: "fall", Run: r.crashMostNodes}, {Name: "lies", Run: r.falseReports},
+		{Name: "bad", Run: r.failingServers}, {Name: "full", Run: r.rejectingServers}}
+	if err := r.Play(ctx, steps, options.Steps); err != nil {
 		return nil, err
 	}
-	s.CheckRetryBudget()
-	return s.Result, ctx.Err()
+	r.CheckRetryBudget()
+	return r.Result, ctx.Err()
 }
 
 // meet lets members find each other, and nodes learn the usual rate.
-func (s *run) gather(ctx context.Context, _ *mrand.Rand) error {
+func (r *run) gather(ctx context.Context, _ *mrand.Rand) error {
 	fake.Sleep(ctx, 5*time.Second)
-	from, since := s.gossipBytes(), time.Now()
+	bytesBefore, begunAt := r.gossipBytes(), time.Now()
 	fake.Sleep(ctx, 3*time.Second)
-	s.SetMetric("gossip_bytes_per_node_per_s", float64(s.gossipBytes()-from)/float64(len(s.Names))/time.Since(since).Seconds())
-	if !s.Options.WithoutAgents {
-		s.RequireAtLeast("gossip_bytes_per_node_per_s", 100)
+	r.SetMetric("gossip_bytes_per_node_per_s", float64(r.gossipBytes()-bytesBefore)/float64(len(r.Names))/time.Since(begunAt).Seconds())
+	if !r.Options.WithoutAgents {
+		r.RequireAtLeast("gossip_bytes_per_node_per_s", 100)
 	}
 	return nil
 }
 
-func (s *run) gossipBytes() (bytes uint64) {
-	for _, name := range s.Names {
-		n, _ := s.Proxy.Transferred(name)
+func (r *run) gossipBytes() (bytes uint64) {
+	for _, name := range r.Names {
+		n, _ := r.Proxy.Transferred(name)
 		bytes += n
 	}
 	return bytes
 }
 
 // full has half of the servers turn every first line away, while their probes look well.
-func (s *run) rejectingServers(ctx context.Context, _ *mrand.Rand) error {
-	for _, v := range s.AllServers()[:s.Options.Servers/2] {
-		v.SetFault(fake.AnswersBusy)
+func (r *run) rejectingServers(ctx context.Context, _ *mrand.Rand) error {
+	for _, server := range r.AllServers()[:r.Options.Servers/2] {
+		server.SetFault(fake.AnswersBusy)
 	}
 	fake.Sleep(ctx, 8*time.Second)
-	for _, v := range s.AllServers()[:s.Options.Servers/2] {
-		v.SetFault(fake.Healthy)
+	for _, server := range r.AllServers()[:r.Options.Servers/2] {
+		server.SetFault(fake.Healthy)
 	}
 	fake.Sleep(ctx, time.Second)
 	return nil
--- a/internal/scenario/fleet/lies.go
+++ b/internal/scenario/fleet/lies.go
@@ -16,8 +16,8 @@
 )
 
 // lies has one member with the key accuse sound servers, and strangers without it.
-func (s *run) falseReports(ctx context.Context, _ *mrand.Rand) error {
-	if s.Options.WithoutAgents {
+func (r *run) falseReports(ctx context.Context, _ *mrand.Rand) error {
+	if r.Options.WithoutAgents {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -26,7 +26,7 @@
 	defer cancel()
 	accused := []string{"s0", "s1", "s2"}
 	speak := func(name string, number int, open bool) error {
-		bind, advertise, err := s.AddProxiedAddress(name, number)
+		bind, advertise, err := r.AddProxiedAddress(name, number)
 		if err != nil {
 			return err
 		}
@@ -34,7 +34,7 @@
 			func() time.Duration { return time.Duration(time.Now().UnixNano()) })
 		wg.Go(func() {
 			// What comes of it is seen at the servers, not here.
-			_ = a.Run(ctx, gossip.Config{BindAddress: bind, AdvertiseAddress: advertise, Peers: s.Peers(), KeyFile: s.KeyFile, Unencrypted: open,
+			_ = a.Run(ctx, gossip.Config{BindAddress: bind, AdvertiseAddress: advertise, Peers: r.Peers(), KeyFile: r.KeyFile, Unencrypted: open,
 				Interval: 100 * time.Millisecond, LogOutput: io.Discard})
 		})
 		wg.Go(func() {
@@ -52,7 +52,7 @@
 		return err
 	}
 	// As many as make a verdict anywhere, were they heard.
-	for i := range len(s.Names) + 2 {
+	for i := range len(r.Names) + 2 {
 		if err := speak(fmt.Sprint("stranger", i), 201+i, true); err != nil {
 			return err
 		}
@@ -60,14 +60,14 @@
 	fake.Sleep(ctx, 4*time.Second)
 	from := time.Now()
 	fake.Sleep(ctx, 4*time.Second)
-	share := s.ServerShares(from, time.Now())
+	share := r.ServerShares(from, time.Now())
 	least := math.Inf(1)
 	for _, id := range accused {
 		least = min(least, share[id])
 	}
-	s.SetMetric("accused_least_share", least)
+	r.SetMetric("accused_least_share", least)
 	if least < 0.5 {
-		s.AddViolation("lies", fmt.Sprintf("a sound server that false members accuse gets %.2f of its share", least))
+		r.AddViolation("lies", fmt.Sprintf("a sound server that false members accuse gets %.2f of its share", least))
 	}
 	return nil
 }
--- a/internal/scenario/fleet/slowstart.go
+++ b/internal/scenario/fleet/slowstart.go
@@ -13,71 +13,71 @@
 
 // cold starts a server in a surgeRate of returning transactions, with gossip that is late and
 // lossy, and cuts a third of the nodes off meanwhile.
-func (s *run) coldServerUnderPartition(ctx context.Context, rng *mrand.Rand) error {
-	order := rng.Perm(len(s.Names))
+func (r *run) coldServerUnderPartition(ctx context.Context, rng *mrand.Rand) error {
+	order := rng.Perm(len(r.Names))
 	var cut, rest []string
-	for i, n := range order {
-		if i < max(1, len(s.Names)/3) {
-			cut = append(cut, s.Names[n])
+	for i, index := range order {
+		if i < max(1, len(r.Names)/3) {
+			cut = append(cut, r.Names[index])
 		} else {
-			rest = append(rest, s.Names[n])
+			rest = append(rest, r.Names[index])
 		}
 	}
-	s.Proxy.SetBetween(s.Names, s.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Duplicate: 0.05})
-	s.SetRate(surgeRate)
-	started, err := s.Join("cold", "a", true)
+	r.Proxy.SetBetween(r.Names, r.Names, faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Duplicate: 0.05})
+	r.SetRate(surgeRate)
+	startedAt, err := r.Join("cold", "a", true)
 	if err != nil {
 		return err
 	}
 	fake.Sleep(ctx, 1500*time.Millisecond+time.Duration(rng.IntN(1000))*time.Millisecond)
-	s.Proxy.SetBetween(cut, rest, faultproxy.Fault{Cut: true})
+	r.Proxy.SetBetween(cut, rest, faultproxy.Fault{Cut: true})
 	fake.Sleep(ctx, partitionDuration)
-	s.Proxy.Heal()
-	s.SetRate(1)
+	r.Proxy.Heal()
+	r.SetRate(1)
 	fake.Sleep(ctx, time.Second)
-	most, _ := s.BudgetUse("cold", started, time.Now())
-	dealt := s.EpochBudgetUse("cold", started)
-	s.SetMetric("cold_epoch_of_deal", dealt)
-	if !s.Options.WithoutAgents && dealt > testbed.ChanceAllowance {
-		s.AddViolation("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", dealt))
+	peak, _ := r.BudgetUse("cold", startedAt, time.Now())
+	epochPeak := r.EpochBudgetUse("cold", startedAt)
+	r.SetMetric("cold_epoch_of_deal", epochPeak)
+	if !r.Options.WithoutAgents && epochPeak > testbed.ChanceAllowance {
+		r.AddViolation("deal", fmt.Sprintf("within one epoch a cold server was sent %.2f times what all may deal", epochPeak))
 	}
-	s.Leave("cold")
-	s.SetMetric("cold_most_of_budget", most)
-	if !s.Options.WithoutAgents && most > testbed.ChanceAllowance {
-		s.AddViolation("cold", fmt.Sprintf("a cold server was sent %.2f times its budget within %v", most, budgetWindow))
+	r.Leave("cold")
+	r.SetMetric("cold_most_of_budget", peak)
+	if !r.Options.WithoutAgents && peak > testbed.ChanceAllowance {
+		r.AddViolation("cold", fmt.Sprintf("a cold server was sent %.2f times its budget within %v", peak, budgetWindow))
 	}
-	s.RequireAtLeast("cold_most_of_budget", 0.2) // else nobody tried
+	r.RequireAtLeast("cold_most_of_budget", 0.2) // else nobody tried
 	return nil
 }
 
 // fall kills most of the nodes with their agents; after the hold those that are left use
 // the whole of their budget for a server that is cold then.
-func (s *run) crashMostNodes(ctx context.Context, rng *mrand.Rand) error {
-	dead := rng.Perm(len(s.Names))[:len(s.Names)*5/7]
-	for _, i := range dead {
-		s.KillMachine(s.Names[i])
+func (r *run) crashMostNodes(ctx context.Context, rng *mrand.Rand) error {
+	crashed := rng.Perm(len(r.Names))[:len(r.Names)*5/7]
+	for _, index := range crashed {
+		r.KillMachine(r.Names[index])
 	}
 	// Failed is known some seconds later, and then the hold begins.
 	fake.Sleep(ctx, 8*time.Second+leaseTimeout)
-	s.SetRate(surgeRate)
-	started, err := s.Join("late", "a", true)
+	r.SetRate(surgeRate)
+	startedAt, err := r.Join("late", "a", true)
 	if err != nil {
 		return err
 	}
 	fake.Sleep(ctx, 8*time.Second) // long enough that the count is well beyond testbed.ChanceAllowance
-	s.SetRate(1)
-	most, mean := s.BudgetUse("late", started, time.Now())
-	s.Leave("late")
-	s.SetMetric("late_most_of_budget", most)
-	s.SetMetric("late_mean_of_budget", mean)
-	if !s.Options.WithoutAgents && most > testbed.ChanceAllowance {
-		s.AddViolation("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", most, budgetWindow))
+	r.SetRate(1)
+	peak, mean := r.BudgetUse("late", startedAt, time.Now())
+	r.Leave("late")
+	r.SetMetric("late_most_of_budget", peak)
+	r.SetMetric("late_mean_of_budget", mean)
+	if !r.Options.WithoutAgents && peak > testbed.ChanceAllowance {
+		r.AddViolation("cold", fmt.Sprintf("after a fall, a cold server was sent %.2f times its budget within %v", peak, budgetWindow))
 	}
-	if !s.Options.WithoutAgents && mean < minBudgetUse {
-		s.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, minBudgetUse))
+	if !r.Options.WithoutAgents && mean < minBudgetUse {
+		r.AddViolation("use", fmt.Sprintf("those who are left send a cold server %.2f of its budget, want %.2f at least", mean, minBudgetUse))
 	}
-	for _, i := range dead {
-		if err := s.RestartMachine(ctx, s.Names[i]); err != nil {
+	for _, index := range crashed {
+		if err := r.RestartMachine(ctx, r.Names[index]); err != nil {
 			return err
 		}
 	}
--- a/internal/scenario/objectives/objectives.go
+++ b/internal/scenario/objectives/objectives.go
@@ -173,27 +173,27 @@
 )
 
 // slow makes some zones slow, all others usual; nil for none.
-func (s *run) setSlowZones(zones map[string]bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, zone := range s.Testbed.Zones {
-		s.baseDelays[zone] = nearestDelay + time.Duration(i)*zoneDelayStep
+func (r *run) setSlowZones(zones map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, zone := range r.Testbed.Zones {
+		r.baseDelays[zone] = nearestDelay + time.Duration(i)*zoneDelayStep
 		if zones[zone] {
-			s.baseDelays[zone] = slowZoneDelay
+			r.baseDelays[zone] = slowZoneDelay
 		}
 	}
 }
 
 // answersIn is how long a server takes.
-func (s *run) answerDelay(server string) time.Duration {
-	zone := s.Zone(server)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.baseDelays[zone] + min(time.Duration(max(0, s.zoneLoads[zone]-0.9)*400*float64(time.Millisecond)), maxOverloadDelay)
+func (r *run) answerDelay(server string) time.Duration {
+	zone := r.Zone(server)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.baseDelays[zone] + min(time.Duration(max(0, r.zoneLoads[zone]-0.9)*400*float64(time.Millisecond)), maxOverloadDelay)
 }
 
 // weather slows regions down as they fill, as servers do.
-func (s *run) updateZoneLoads(ctx context.Context) {
+func (r *run) updateZoneLoads(ctx context.Context) {
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -201,18 +201,18 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			for _, zone := range s.Testbed.Zones {
-				load := s.zoneLoad(zone, now.Add(-time.Second), now)
-				s.mu.Lock()
-				s.zoneLoads[zone] = load
-				s.mu.Unlock()
+			for _, zone := range r.Testbed.Zones {
+				load := r.zoneLoad(zone, now.Add(-time.Second), now)
+				r.mu.Lock()
+				r.zoneLoads[zone] = load
+				r.mu.Unlock()
 			}
 		}
 	}
 }
 
 // loadOf is what a zone's servers were asked, over what they bear warm.
-func (s *run) zoneLoad(zone string, from, until time.Time) float64 {
-	bears := float64(len(s.ServersIn(zone))) * s.Testbed.Rate / float64(s.Options.Servers) / testbed.UsualLoad
-	return float64(len(s.FirstLinesInto(zone, from, until))) / until.Sub(from).Seconds() / bears
+func (r *run) zoneLoad(zone string, from, until time.Time) float64 {
+	bears := float64(len(r.ServersIn(zone))) * r.Testbed.Rate / float64(r.Options.Servers) / testbed.UsualLoad
+	return float64(len(r.FirstLinesInto(zone, from, until))) / until.Sub(from).Seconds() / bears
 }
--- a/internal/scenario/objectives/observed.go
+++ b/internal/scenario/objectives/observed.go
@@ -35,23 +35,23 @@
 }
 
 // clients open tenants' transactions at the rate until ctx ends.
-func (s *run) openSessions(ctx context.Context, all *sync.WaitGroup) {
-	rng := mrand.New(mrand.NewPCG(s.Options.Seed, 21))
-	tenants := s.tenants()
+func (r *run) openSessions(ctx context.Context, all *sync.WaitGroup) {
+	rng := mrand.New(mrand.NewPCG(r.Options.Seed, 21))
+	tenants := r.tenants()
 	next := time.Now()
 	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
-		next = next.Add(time.Duration(rng.ExpFloat64() / s.Testbed.Rate * float64(time.Second)))
+		next = next.Add(time.Duration(rng.ExpFloat64() / r.Testbed.Rate * float64(time.Second)))
 		at, x := 0, rng.Float64()
 		for at < len(tenants)-1 && x >= tenants[at].trafficShare {
 			x -= tenants[at].trafficShare
 			at++
 		}
-		node, addr := s.Testbed.Nodes.Pick(rng)
-		all.Go(func() { s.runClient(ctx, id, tenants[at].Name, node, addr) })
+		node, addr := r.Testbed.Nodes.Pick(rng)
+		all.Go(func() { r.runClient(ctx, id, tenants[at].Name, node, addr) })
 	}
 }
 
-func (s *run) runClient(ctx context.Context, id int, tenant, node, addr string) {
+func (r *run) runClient(ctx context.Context, id int, tenant, node, addr string) {
 	begun := time.Now()
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -68,55 +68,55 @@
 		return
 	}
 	if err != nil {
-		s.AddViolation("answer", fmt.Sprintf("%s-%x at %s got no final answer: %v", tenant, id, node, err))
+		r.AddViolation("answer", fmt.Sprintf("%s-%x at %s got no final answer: %v", tenant, id, node, err))
 		return
 	}
 	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
-	s.mu.Lock()
-	s.replies = append(s.replies, clientReply{tenant, word, begun, took})
-	s.mu.Unlock()
-	s.AddMetric("tenants_"+strings.ToLower(word), 1)
+	r.mu.Lock()
+	r.replies = append(r.replies, clientReply{tenant, word, begun, took})
+	r.mu.Unlock()
+	r.AddMetric("tenants_"+strings.ToLower(word), 1)
 	if word == "UP" {
 		fake.Sleep(ctx, 2*time.Second) // so long that one is little of a server's load
 	}
 }
 
 // watchRecord notes each change of an allocation.
-func (s *run) watchAllocations(ctx context.Context) {
+func (r *run) watchAllocations(ctx context.Context) {
 	last, steps := map[string]slo.Allocation{}, uint64(0)
 	for at := 0; fake.Sleep(ctx, 100*time.Millisecond); at++ {
 		var state logentry.State
-		if err := s.Agents[s.Names[at%len(s.Names)]].Call(agentapi.OperatorRequest{Method: "record"}, &state); err != nil || state.Contracts.AllocationVersion <= steps {
+		if err := r.Agents[r.Names[at%len(r.Names)]].Call(agentapi.OperatorRequest{Method: "record"}, &state); err != nil || state.Contracts.AllocationVersion <= steps {
 			continue // an agent that is behind, or has not met anybody
 		}
 		steps = state.Contracts.AllocationVersion
-		s.mu.Lock()
+		r.mu.Lock()
 		for _, a := range state.Contracts.Allocations {
 			old, ok := last[a.Contract]
 			if ok && old.SteeredAt == a.SteeredAt {
 				continue
 			}
 			if !ok { // it was drawn evenly among the next hops that it may use
-				old.Shares = s.evenShares(s.tenant(a.Contract))
+				old.Shares = r.evenShares(r.tenant(a.Contract))
 			}
 			x := steeringChange{Allocation: a, at: time.Now(), leftByZone: map[string]float64{}}
-			for _, zone := range s.Testbed.Zones {
+			for _, zone := range r.Testbed.Zones {
 				x.movedShare += max(a.Shares[zone]-old.Shares[zone], 0)
 				x.leftByZone[zone] = old.Shares[zone] - a.Shares[zone]
 			}
 			if last[a.Contract] = a; a.UnmetReason != "" {
-				s.unmetReasons[a.Contract] = a.UnmetReason
+				r.unmetReasons[a.Contract] = a.UnmetReason
 			}
-			s.changes = append(s.changes, x)
+			r.changes = append(r.changes, x)
 		}
-		s.mu.Unlock()
+		r.mu.Unlock()
 	}
 }
 
 // even is where a contract goes that was never steered.
-func (s *run) evenShares(t tenant) map[string]float64 {
+func (r *run) evenShares(t tenant) map[string]float64 {
 	shares, all := map[string]float64{}, 0.0
-	for _, v := range s.AllServers() {
+	for _, v := range r.AllServers() {
 		if len(t.Zones) == 0 || slices.Contains(t.Zones, v.Zone) {
 			shares[v.Zone]++
 			all++
@@ -129,10 +129,10 @@
 }
 
 // moves are the changes of allocations between two times.
-func (s *run) changesBetween(from, until time.Time) (list []steeringChange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range s.changes {
+func (r *run) changesBetween(from, until time.Time) (list []steeringChange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.changes {
 		if x.at.After(from) && x.at.Before(until) {
 			list = append(list, x)
 		}
@@ -146,11 +146,11 @@
 
 // kept is the share of a tenant's windows of one second between two times in which his
 // promise held, as his clients saw it; and how many windows there were.
-func (s *run) keptShare(t tenant, from, until time.Time) (share float64, n int) {
+func (r *run) keptShare(t tenant, from, until time.Time) (share float64, n int) {
 	window := t.Window / timeScale
 	all, good := map[int64]float64{}, map[int64]float64{}
-	s.mu.Lock()
-	for _, r := range s.replies {
+	r.mu.Lock()
+	for _, r := range r.replies {
 		if r.tenant == t.Name && !r.startedAt.Before(from) && r.startedAt.Before(until) {
 			at := int64(r.startedAt.Sub(from) / window)
 			if all[at]++; r.reply == "UP" && r.took <= t.boundAtClient() {
@@ -158,7 +158,7 @@
 			}
 		}
 	}
-	s.mu.Unlock()
+	r.mu.Unlock()
 	held := 0
 	for at, of := range all {
 		if good[at] >= t.Quantile*of {
@@ -170,9 +170,9 @@
 
 // into is the share of a tenant's first lines that went into a zone, as its servers saw it;
 // and how many he had in all.
-func (s *run) shareIntoZone(name, zone string, from, until time.Time) (share float64, all int) {
+func (r *run) shareIntoZone(name, zone string, from, until time.Time) (share float64, all int) {
 	n := 0
-	for _, l := range s.FirstLines(from, until) {
+	for _, l := range r.FirstLines(from, until) {
 		if strings.HasPrefix(l.Key, name+"-") {
 			if all++; l.Zone == zone {
 				n++
@@ -183,24 +183,24 @@
 }
 
 // fullest is the greatest load of a zone in any two seconds.
-func (s *run) peakLoad(zone string, from, until time.Time) (most float64) {
+func (r *run) peakLoad(zone string, from, until time.Time) (most float64) {
 	const over = 2 * time.Second
 	for at := from; !at.Add(over).After(until); at = at.Add(over / 4) {
-		most = max(most, s.zoneLoad(zone, at, at.Add(over)))
+		most = max(most, r.zoneLoad(zone, at, at.Add(over)))
 	}
 	return most
 }
 
 // given is the greatest part of what a zone bears that allocations between two times gave it,
 // by what tenants ask for.
-func (s *run) peakAllocatedLoad(zone string, from, until time.Time) (most float64) {
+func (r *run) peakAllocatedLoad(zone string, from, until time.Time) (most float64) {
 	now := map[string]float64{}
-	for _, t := range s.tenants() {
-		now[t.Name] = t.trafficShare * s.evenShares(t)[zone]
+	for _, t := range r.tenants() {
+		now[t.Name] = t.trafficShare * r.evenShares(t)[zone]
 	}
-	bears := float64(len(s.ServersIn(zone))) / float64(s.Options.Servers) / testbed.UsualLoad
-	for _, x := range s.changesBetween(time.Time{}, until) {
-		now[x.Contract] = s.tenant(x.Contract).trafficShare * max(x.Shares[zone]-x.Overflow, 0)
+	bears := float64(len(r.ServersIn(zone))) / float64(r.Options.Servers) / testbed.UsualLoad
+	for _, x := range r.changesBetween(time.Time{}, until) {
+		now[x.Contract] = r.tenant(x.Contract).trafficShare * max(x.Shares[zone]-x.Overflow, 0)
 		sum := 0.0
 		for _, part := range now {
 			sum += part
@@ -212,7 +212,7 @@
 	return most
 }
 
-func (s *run) tenant(name string) tenant {
-	all := s.tenants()
+func (r *run) tenant(name string) tenant {
+	all := r.tenants()
 	return all[slices.IndexFunc(all, func(t tenant) bool { return t.Name == name })]
 }
--- a/internal/scenario/resume/play.go
+++ b/internal/scenario/resume/play.go
@@ -13,46 +13,46 @@
 )
 
 // play runs the script until there were enough moves, then lets all come to rest.
-func (s *run) play(ctx context.Context) error {
+func (r *run) play(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	changes, still := context.WithCancel(ctx)
-	defer still()
+	changing, stopChanges := context.WithCancel(ctx)
+	defer stopChanges()
 	wg.Go(func() {
-		for fake.Sleep(changes, changeInterval) {
-			s.feed.Step()
+		for fake.Sleep(changing, changeInterval) {
+			r.feed.Step()
 		}
 	})
-	for i := range s.Clients {
-		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
-			Patience: testbed.Patience, Nodes: s.nodes, Observer: s, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
-		c.Seed(s.Options.Seed, uint64(i))
-		s.clients = append(s.clients, c)
+	for i := range r.Clients {
+		client := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, r.Clients/8)), Class: "feed",
+			Patience: testbed.Patience, Nodes: r.nodes, Observer: r, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
+		client.Seed(r.Options.Seed, uint64(i))
+		r.clients = append(r.clients, client)
 		wg.Go(func() {
-			fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(s.Clients))
-			c.Run(ctx)
+			fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(r.Clients))
+			client.Run(ctx)
 		})
 	}
-	wg.Go(func() { s.presentBadTokens(ctx) })
-	wg.Go(func() { s.watchFreshness(changes) })
-	wg.Go(func() { s.reportProgress(ctx) })
+	wg.Go(func() { r.presentBadTokens(ctx) })
+	wg.Go(func() { r.watchFreshness(changing) })
+	wg.Go(func() { r.reportProgress(ctx) })
 	fake.Sleep(ctx, arrivals+time.Second)
 	rotated := false
-	limit := time.Now().Add(time.Duration(s.Moves)*250*time.Millisecond + 30*time.Second)
-	for s.Metric("moves") < float64(s.Moves) {
+	limit := time.Now().Add(time.Duration(r.Moves)*250*time.Millisecond + 30*time.Second)
+	for r.Metric("moves") < float64(r.Moves) {
 		if time.Now().After(limit) {
-			s.AddViolation("bound", fmt.Sprintf("%g of %d moves came about in time", s.Metric("moves"), s.Moves))
+			r.AddViolation("bound", fmt.Sprintf("%g of %d moves came about in time", r.Metric("moves"), r.Moves))
 			break
 		}
-		if !rotated && s.Metric("moves") > float64(s.Moves)/2 {
+		if !rotated && r.Metric("moves") > float64(r.Moves)/2 {
 			rotated = true
-			if err := s.rotateKey(); err != nil {
+			if err := r.rotateKey(); err != nil {
 				return err
 			}
 		}
-		if err := s.injectFault(ctx, &wg); err != nil {
+		if err := r.injectFault(ctx, &wg); err != nil {
 			return err
 		}
 		if !fake.Sleep(ctx, time.Second) {
@@ -61,21 +61,21 @@
 	}
 	// The end: faults heal, changes stop, and all that was ever said has to arrive.
 	fake.Sleep(ctx, 4*time.Second)
-	still()
+	stopChanges()
 	fake.Sleep(ctx, freshnessBound+testbed.SocketDelay)
-	s.checkFinalVersions()
+	r.checkFinalVersions()
 	cancel()
 	return nil
 }
 
 // rotate puts a second key in force while the scene runs.
-func (s *run) rotateKey() error {
-	if _, _, err := keyfile.Create(s.keyFile, time.Now().Add(time.Second)); err != nil {
+func (r *run) rotateKey() error {
+	if _, _, err := keyfile.Create(r.keyFile, time.Now().Add(time.Second)); err != nil {
 		return err
 	}
-	s.AddMetric("key rotations", 1)
-	for _, n := range s.nodes {
+	r.AddMetric("key rotations", 1)
+	for _, n := range r.nodes {
 		n.Process.Signal(syscall.SIGHUP)
 	}
-	return s.loadKeyRing()
+	return r.loadKeyRing()
 }
--- a/internal/scenario/resume/resume.go
+++ b/internal/scenario/resume/resume.go
@@ -73,32 +73,32 @@
 
 // Play plays the scene: moves over drains, relief, restarts and kills, while
 // listings change, with tokens presented twice, stolen and forged.
-func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	r := testbed.NewResult("resume", o.Seed)
-	s := &run{Options: o, Result: r, rng: rand.New(rand.NewPCG(o.Seed, 7)), discovery: fake.NewDiscovery(),
-		feed:         fake.NewFeed(max(4, o.Clients/8), 30, o.Seed),
+func Play(ctx context.Context, options Options) (*testbed.Result, error) {
+	result := testbed.NewResult("resume", options.Seed)
+	r := &run{Options: options, Result: result, rng: rand.New(rand.NewPCG(options.Seed, 7)), discovery: fake.NewDiscovery(),
+		feed:         fake.NewFeed(max(4, options.Clients/8), 30, options.Seed),
 		ownerByNonce: map[string]string{}, honoredByNonce: map[string]string{}, nextFaultAt: map[string]time.Time{},
 		deliveryGaps: hdrhistogram.New(1, 60_000_000, 3), setupTimes: newHistograms(), streamStartTimes: newHistograms()}
-	r.ScaledDown = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
+	result.ScaledDown = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
 		int(time.Second/changeInterval))
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	if err := s.start(ctx, dir); err != nil {
+	if err := r.start(ctx, dir); err != nil {
 		return nil, err
 	}
-	defer s.discovery.Close()
-	defer s.nodes.KillAll()
-	if err := s.play(ctx); err != nil {
+	defer r.discovery.Close()
+	defer r.nodes.KillAll()
+	if err := r.play(ctx); err != nil {
 		return nil, err
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	s.recordMetrics()
-	return r, nil
+	r.recordMetrics()
+	return result, nil
 }
 
 func newHistograms() map[bool]*hdrhistogram.Histogram {
@@ -113,84 +113,84 @@
 const arrivals = 3 * time.Second
 
 // build makes the parties and starts them.
-func (s *run) start(ctx context.Context, dir string) error {
-	binary, mutation := s.Binary, ""
-	if _, ok := Mutations[s.Mutation]; s.Mutation != "" && !ok {
-		return fmt.Errorf("no mutation %q", s.Mutation)
+func (r *run) start(ctx context.Context, dir string) error {
+	binary, mutation := r.Binary, ""
+	if _, ok := Mutations[r.Mutation]; r.Mutation != "" && !ok {
+		return fmt.Errorf("no mutation %q", r.Mutation)
 	}
-	if s.Mutation != "" && s.Mutation != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
+	if r.Mutation != "" && r.Mutation != "epoch" { // epoch is the stand-ins' cheat, all others sit in the node
 		var err error
 		if binary, err = testbed.BuildMutated(ctx, dir, "coralrelay"); err != nil {
 			return err
 		}
-		mutation = s.Mutation
+		mutation = r.Mutation
 	}
-	s.keyFile = filepath.Join(dir, "keys")
-	if _, _, err := keyfile.Create(s.keyFile, time.Now().Add(-time.Second)); err != nil {
+	r.keyFile = filepath.Join(dir, "keys")
+	if _, _, err := keyfile.Create(r.keyFile, time.Now().Add(-time.Second)); err != nil {
 		return err
 	}
-	if err := s.loadKeyRing(); err != nil {
+	if err := r.loadKeyRing(); err != nil {
 		return err
 	}
 	peers := map[string]string{}
-	for i := range s.Nodes {
+	for i := range r.Nodes {
 		name := fmt.Sprintf("n%d", i)
-		s.nodeNames = append(s.nodeNames, name)
+		r.nodeNames = append(r.nodeNames, name)
 		addr, err := testbed.Reserve()
 		if err != nil {
 			return err
 		}
 		peers[name] = addr
 	}
-	for i, name := range s.nodeNames {
-		own := operatorconfig.Default()
-		own.Log.Level = "warn"
-		own.Resume.Enabled, own.Resume.Keys = true, s.keyFile
-		own.Resume.ReplayGuard.Dir = filepath.Join(dir, name, "ledger")
-		own.Resume.ReplayGuard.Listen, own.Resume.ReplayGuard.Peers = peers[name], peers
-		discovery, err := s.discovery.Listen(name)
+	for i, name := range r.nodeNames {
+		config := operatorconfig.Default()
+		config.Log.Level = "warn"
+		config.Resume.Enabled, config.Resume.Keys = true, r.keyFile
+		config.Resume.ReplayGuard.Dir = filepath.Join(dir, name, "ledger")
+		config.Resume.ReplayGuard.Listen, config.Resume.ReplayGuard.Peers = peers[name], peers
+		discovery, err := r.discovery.Listen(name)
 		if err != nil {
 			return err
 		}
-		n, err := testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
-			Number: i, Nodes: s.Nodes, Mutation: mutation, OperatorConfig: &own})
+		node, err := testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: name, Dir: filepath.Join(dir, name), Discovery: discovery,
+			Number: i, Nodes: r.Nodes, Mutation: mutation, OperatorConfig: &config})
 		if err != nil {
 			return err
 		}
-		s.nodes = append(s.nodes, n)
+		r.nodes = append(r.nodes, node)
 	}
-	for i := range s.Servers {
-		o := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: s.feed, Observer: s, History: 200,
-			Capacity: max(60, 3*s.Clients/s.Servers), IgnoreEpoch: s.Mutation == "epoch"}
+	for i := range r.Servers {
+		options := fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: r.feed, Observer: r, History: 200,
+			Capacity: max(60, 3*r.Clients/r.Servers), IgnoreEpoch: r.Mutation == "epoch"}
 		switch i % 3 {
 		case 1:
-			o.Lag = 300 * time.Millisecond
+			options.Lag = 300 * time.Millisecond
 		case 2:
-			o.History = 2 // it has trimmed what most positions would need
+			options.History = 2 // it has trimmed what most positions would need
 		}
-		v := fake.NewServer(o)
-		addrs, err := v.Start(s.nodeNames)
+		server := fake.NewServer(options)
+		addrs, err := server.Start(r.nodeNames)
 		if err != nil {
 			return err
 		}
-		s.servers = append(s.servers, v)
-		s.discovery.Set(o.Name, fake.Active, time.Time{}, addrs)
+		r.servers = append(r.servers, server)
+		r.discovery.Set(options.Name, fake.Active, time.Time{}, addrs)
 	}
-	for _, n := range s.nodes {
-		if err := n.Start(ctx); err != nil {
+	for _, node := range r.nodes {
+		if err := node.Start(ctx); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *run) loadKeyRing() error {
-	ring, err := keyfile.Load(s.keyFile)
+func (r *run) loadKeyRing() error {
+	ring, err := keyfile.Load(r.keyFile)
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.keyRing = ring
-	s.mu.Unlock()
+	r.mu.Lock()
+	r.keyRing = ring
+	r.mu.Unlock()
 	return nil
 }
--- a/internal/scenario/udp/faults.go
+++ b/internal/scenario/udp/faults.go
@@ -14,95 +14,95 @@
 )
 
 // faults has servers drain, fall and come back, two at a time at most.
-func (s *run) injectFaults(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(s.Options.Seed, 11))
-	for n := 0; fake.Sleep(ctx, 1500*time.Millisecond); n++ {
-		v := s.servers[rng.IntN(len(s.servers))]
-		s.markDisturbed(v.Name)
-		switch n % 4 {
+func (r *run) injectFaults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.Options.Seed, 11))
+	for round := 0; fake.Sleep(ctx, 1500*time.Millisecond); round++ {
+		server := r.servers[rng.IntN(len(r.servers))]
+		r.markDisturbed(server.Name)
+		switch round % 4 {
 		case 1:
-			s.hangServer(ctx, v)
+			r.hangServer(ctx, server)
 		case 2:
-			s.AddMetric("servers killed", 1)
-			s.BounceServer(ctx, s.discovery, v, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
-			s.markDisturbed(v.Name)
+			r.AddMetric("servers killed", 1)
+			r.BounceServer(ctx, r.discovery, server, []string{"n0"}, 300*time.Millisecond, 500*time.Millisecond)
+			r.markDisturbed(server.Name)
 		default:
-			s.AddMetric("drains", 1)
-			s.discovery.Set(v.Name, fake.Leaving, time.Time{}, nil)
+			r.AddMetric("drains", 1)
+			r.discovery.Set(server.Name, fake.Leaving, time.Time{}, nil)
 			fake.Sleep(ctx, 1200*time.Millisecond)
-			s.markDisturbed(v.Name)
-			s.discovery.Set(v.Name, fake.Active, time.Time{}, nil)
+			r.markDisturbed(server.Name)
+			r.discovery.Set(server.Name, fake.Active, time.Time{}, nil)
 		}
 	}
 }
 
 // hang has a server answer nothing for a while, but for its probes.
-func (s *run) hangServer(ctx context.Context, v *fake.Server) {
-	s.AddMetric("servers hung", 1)
-	s.mu.Lock()
-	s.hungSince[v.Name] = time.Now()
-	s.mu.Unlock()
-	v.Hang(true)
+func (r *run) hangServer(ctx context.Context, server *fake.Server) {
+	r.AddMetric("servers hung", 1)
+	r.mu.Lock()
+	r.hungSince[server.Name] = time.Now()
+	r.mu.Unlock()
+	server.Hang(true)
 	fake.Sleep(ctx, hangDuration)
-	v.Hang(false)
-	s.mu.Lock()
-	delete(s.hungSince, v.Name)
-	s.mu.Unlock()
-	s.markDisturbed(v.Name)
+	server.Hang(false)
+	r.mu.Lock()
+	delete(r.hungSince, server.Name)
+	r.mu.Unlock()
+	r.markDisturbed(server.Name)
 }
 
 // heard counts what comes while a server answers nothing, and what of it comes to that one
 // although the node has had the time to notice. The lock is held.
-func (s *run) countWhileHung(d fake.Datagram) {
-	for server, since := range s.hungSince {
-		if d.At.Sub(since) < silenceDetection {
+func (r *run) countWhileHung(datagram fake.Datagram) {
+	for server, since := range r.hungSince {
+		if datagram.At.Sub(since) < silenceDetection {
 			continue
 		}
-		s.AddMetric("while one was silent", 1)
-		if d.Server == server {
-			s.AddMetric("to the silent one", 1)
+		r.AddMetric("while one was silent", 1)
+		if datagram.Server == server {
+			r.AddMetric("to the silent one", 1)
 		}
 	}
 }
 
-func (s *run) markDisturbed(server string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.disturbedAt[server] = time.Now()
+func (r *run) markDisturbed(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbedAt[server] = time.Now()
 }
 
 // datagram holds what a server got to the rules.
-func (s *run) observeDatagram(d fake.Datagram) {
-	if strings.HasPrefix(d.Flow, "spoofed") {
-		s.AddMetric("flood arrived", 1)
+func (r *run) observeDatagram(datagram fake.Datagram) {
+	if strings.HasPrefix(datagram.Flow, "spoofed") {
+		r.AddMetric("flood arrived", 1)
 		return
 	}
-	if strings.HasPrefix(d.Flow, "loud") {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if _, known := s.lastServer[d.Flow]; !known {
-			s.lastServer[d.Flow] = d.Server
-			s.AddMetric("one source's flows that went on", 1)
+	if strings.HasPrefix(datagram.Flow, "loud") {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if _, known := r.lastServer[datagram.Flow]; !known {
+			r.lastServer[datagram.Flow] = datagram.Server
+			r.AddMetric("one source's flows that went on", 1)
 		}
 		return
 	}
-	s.CheckDrain(s.discovery, d.Node, d.Server, d.Flow+" "+d.Seq, d.At)
-	s.AddMetric("arrived", 1)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.countWhileHung(d)
-	if was := s.lastServer[d.Flow]; was != "" && was != d.Server {
-		s.AddMetric("moved in mid-flow", 1)
-		if ill := s.disturbedAt[was]; ill.IsZero() || d.At.Sub(ill) > 5*time.Second {
-			s.AddMetric("moved without a fault", 1)
+	r.CheckDrain(r.discovery, datagram.Node, datagram.Server, datagram.Flow+" "+datagram.Seq, datagram.At)
+	r.AddMetric("arrived", 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.countWhileHung(datagram)
+	if previous := r.lastServer[datagram.Flow]; previous != "" && previous != datagram.Server {
+		r.AddMetric("moved in mid-flow", 1)
+		if disturbedAt := r.disturbedAt[previous]; disturbedAt.IsZero() || datagram.At.Sub(disturbedAt) > 5*time.Second {
+			r.AddMetric("moved without a fault", 1)
 		}
 	}
-	s.lastServer[d.Flow] = d.Server
+	r.lastServer[datagram.Flow] = datagram.Server
 }
 
 // settle reads the node's own counts and holds them to what the sockets saw.
-func (s *run) checkNodeCounters(log string) error {
-	if err := s.node.Terminate(); err != nil {
+func (r *run) checkNodeCounters(log string) error {
+	if err := r.node.Terminate(); err != nil {
 		return err
 	}
 	f, err := os.Open(log)
@@ -120,35 +120,35 @@
 		return fmt.Errorf("the node told no counts: %s", log)
 	}
 	for name, x := range counts {
-		s.SetMetric("node: "+name, x)
+		r.SetMetric("node: "+name, x)
 	}
 	drops := counts["full"] + counts["limited"] + counts["queue"] + counts["refused"] + counts["unsent"] + counts["gone"]
 	if out := counts["forwarded"] + drops + counts["waiting"]; counts["in"] != out {
-		s.AddViolation("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", counts["in"], out))
+		r.AddViolation("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", counts["in"], out))
 	}
 	if forgotten := counts["expired"] + counts["evicted"] + counts["refused"]; forgotten < 0.95*counts["opened"] {
-		s.AddViolation("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
+		r.AddViolation("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", counts["opened"], forgotten))
 	}
-	if s.Flood {
+	if r.Flood {
 		return nil
 	}
-	s.SetMetric("share answered", s.Metric("answered")/max(1, s.Metric("sent")))
-	s.SetMetric("share arrived", s.Metric("arrived")/max(1, s.Metric("sent")))
-	if s.Metric("share arrived") < 0.9 {
-		s.AddViolation("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", s.Metric("share arrived")))
+	r.SetMetric("share answered", r.Metric("answered")/max(1, r.Metric("sent")))
+	r.SetMetric("share arrived", r.Metric("arrived")/max(1, r.Metric("sent")))
+	if r.Metric("share arrived") < 0.9 {
+		r.AddViolation("bound", fmt.Sprintf("%.3f of the datagrams arrived, 0.9 is wanted", r.Metric("share arrived")))
 	}
-	if all := s.Metric("while one was silent"); all > 0 {
-		share := s.Metric("to the silent one") / all * float64(s.Servers) // 1 is what it would get if it were like the others
-		s.SetMetric("silent server's part of its share", share)
+	if all := r.Metric("while one was silent"); all > 0 {
+		share := r.Metric("to the silent one") / all * float64(r.Servers) // 1 is what it would get if it were like the others
+		r.SetMetric("silent server's part of its share", share)
 		if share > 0.5 {
-			s.AddViolation("silence", fmt.Sprintf("a server that answered nothing got %.2f of its share", share))
+			r.AddViolation("silence", fmt.Sprintf("a server that answered nothing got %.2f of its share", share))
 		}
 	}
-	s.RequireAtLeast("drains", 1)
-	s.RequireAtLeast("node: expired", 1)
-	if s.Flows >= 100_000 {
-		s.RequireAtLeast("servers killed", 1)
-		s.RequireAtLeast("while one was silent", 1)
+	r.RequireAtLeast("drains", 1)
+	r.RequireAtLeast("node: expired", 1)
+	if r.Flows >= 100_000 {
+		r.RequireAtLeast("servers killed", 1)
+		r.RequireAtLeast("while one was silent", 1)
 	}
 	return nil
 }
--- a/internal/scenario/udp/speed.go
+++ b/internal/scenario/udp/speed.go
@@ -42,47 +42,47 @@
 // with a socket for each next hop and for each flow, in turn and several times, as the
 // machine's own pace changes. The loop has one processor, the node as many as it is given,
 // and all others are the rig's.
-func PlaySpeed(ctx context.Context, o Options) (*testbed.Result, error) {
-	r := testbed.NewResult("udp speed", o.Seed)
-	r.ScaledDown = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
-	o.Cores = max(o.Cores, 1)
-	apart, restore := reserveProcessors(o.Cores)
+func PlaySpeed(ctx context.Context, options Options) (*testbed.Result, error) {
+	result := testbed.NewResult("udp speed", options.Seed)
+	result.ScaledDown = "senders, forwarder and receiver on one machine; datagrams of 64 bytes"
+	options.Cores = max(options.Cores, 1)
+	apart, restore := reserveProcessors(options.Cores)
 	defer restore()
 	if !apart {
-		r.ScaledDown += "; too few processors to keep one for the forwarder"
+		result.ScaledDown += "; too few processors to keep one for the forwarder"
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	figures := map[string][]float64{}
+	samples := map[string][]float64{}
 	for round := range measurementRounds {
-		for i, w := range forwarders {
-			rate, delay, err := measure(ctx, r, w, o, filepath.Join(dir, fmt.Sprintf("%d.%d", round, i)), apart)
+		for i, forwarder := range forwarders {
+			rate, delay, err := measure(ctx, result, forwarder, options, filepath.Join(dir, fmt.Sprintf("%d.%d", round, i)), apart)
 			if err != nil {
-				return nil, fmt.Errorf("%s: %w", w.name, err)
+				return nil, fmt.Errorf("%s: %w", forwarder.name, err)
 			}
-			figures[w.name+": forwarded a second"] = append(figures[w.name+": forwarded a second"], rate)
+			samples[forwarder.name+": forwarded a second"] = append(samples[forwarder.name+": forwarded a second"], rate)
 			for _, q := range []float64{50, 99} {
-				name := fmt.Sprintf("%s: delay p%g us", w.name, q)
-				figures[name] = append(figures[name], float64(delay.ValueAtQuantile(q)))
+				name := fmt.Sprintf("%s: delay p%g us", forwarder.name, q)
+				samples[name] = append(samples[name], float64(delay.ValueAtQuantile(q)))
 			}
 			if i > 0 {
-				base := figures[forwarders[0].name+": forwarded a second"][round]
-				figures[w.name+": against the bare loop"] = append(figures[w.name+": against the bare loop"], rate/max(1, base))
+				base := samples[forwarders[0].name+": forwarded a second"][round]
+				samples[forwarder.name+": against the bare loop"] = append(samples[forwarder.name+": against the bare loop"], rate/max(1, base))
 			}
-			if o.Progress != nil {
-				fmt.Fprintf(o.Progress, "\rround %d of %d  %-24s %8.0f a second ", round+1, measurementRounds, w.name, rate)
+			if options.Progress != nil {
+				fmt.Fprintf(options.Progress, "\rround %d of %d  %-24s %8.0f a second ", round+1, measurementRounds, forwarder.name, rate)
 			}
 		}
 	}
-	for name, list := range figures {
+	for name, list := range samples {
 		slices.Sort(list)
-		r.SetMetric(name, list[len(list)/2])
+		result.SetMetric(name, list[len(list)/2])
 	}
-	r.RequireAtLeast("shared sockets: against the bare loop", minRelativeRate)
-	return r, nil
+	result.RequireAtLeast("shared sockets: against the bare loop", minRelativeRate)
+	return result, nil
 }
 
 // pinned keeps this process off the first processors, two for each core of the node's, as
--- a/internal/scenario/udp/speed_ends.go
+++ b/internal/scenario/udp/speed_ends.go
@@ -82,8 +82,8 @@
 	return s, nil
 }
 
-func (s *receiver) readLoop() {
-	packets := ipv4.NewPacketConn(s.conn)
+func (r *receiver) readLoop() {
+	packets := ipv4.NewPacketConn(r.conn)
 	messages := make([]ipv4.Message, 256)
 	for i := range messages {
 		messages[i].Buffers = [][]byte{make([]byte, 512)}
@@ -93,28 +93,28 @@
 		if err != nil {
 			return // closed
 		}
-		s.received.Add(int64(n))
-		s.mu.Lock()
-		if s.delay != nil {
+		r.received.Add(int64(n))
+		r.mu.Lock()
+		if r.delay != nil {
 			now := time.Now().UnixNano()
 			for _, m := range messages[:n] {
 				// The time stands at the end, whatever header came in front.
 				if at := m.N - 8; at >= 0 {
-					_ = s.delay.RecordValue(max(0, now-int64(binary.BigEndian.Uint64(m.Buffers[0][at:m.N])))/1000 + 1)
+					_ = r.delay.RecordValue(max(0, now-int64(binary.BigEndian.Uint64(m.Buffers[0][at:m.N])))/1000 + 1)
 				}
 			}
 		}
-		s.mu.Unlock()
+		r.mu.Unlock()
 	}
 }
 
 // listen has delays noted from now on, and returns what was noted before.
-func (s *receiver) recordDelays(on bool) *hdrhistogram.Histogram {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	was := s.delay
-	if s.delay = nil; on {
-		s.delay = hdrhistogram.New(1, 10_000_000, 3)
+func (r *receiver) recordDelays(on bool) *hdrhistogram.Histogram {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	was := r.delay
+	if r.delay = nil; on {
+		r.delay = hdrhistogram.New(1, 10_000_000, 3)
 	}
 	return was
 }
--- a/internal/scenario/udp/speed_rates.go
+++ b/internal/scenario/udp/speed_rates.go
@@ -17,12 +17,12 @@
 )
 
 // speedOf measures one way.
-func measure(ctx context.Context, r *testbed.Result, w forwarder, o Options, dir string, apart bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
+func measure(ctx context.Context, result *testbed.Result, forwarder forwarder, options Options, dir string, pinned bool) (rate float64, delay *hdrhistogram.Histogram, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	roster := fake.NewDiscovery()
 	defer roster.Close()
-	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Observer: testbed.CountingObserver{Result: r}, Capacity: 1_000_000})
+	server := fake.NewServer(fake.ServerOptions{Name: "s0", Feed: fake.NewFeed(1, 1, 1), Observer: testbed.CountingObserver{Result: result}, Capacity: 1_000_000})
 	addrs, err := server.Start([]string{"n0"})
 	if err != nil {
 		return 0, nil, err
@@ -37,13 +37,13 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	if w.mode == "" {
+	if forwarder.mode == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return 0, nil, err
 		}
 		cmd := exec.CommandContext(ctx, self, "bare", listen, addrs["n0"])
-		if err := startPinned(apart, 1, cmd.Start); err != nil {
+		if err := startPinned(pinned, 1, cmd.Start); err != nil {
 			return 0, nil, err
 		}
 		defer func() { cancel(); _ = cmd.Wait() }()
@@ -52,47 +52,47 @@
 		if err != nil {
 			return 0, nil, err
 		}
-		own := operatorconfig.Default()
-		own.UDP.Listen, own.UDP.Mode, own.UDP.Proxy = listen, w.mode, w.proxy
-		node, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, OperatorConfig: &own, Cores: o.Cores})
+		config := operatorconfig.Default()
+		config.UDP.Listen, config.UDP.Mode, config.UDP.Proxy = listen, forwarder.mode, forwarder.proxy
+		node, err := testbed.NewNode(testbed.NodeOptions{Binary: options.Binary, Name: "n0", Dir: dir, Discovery: discovery, Nodes: 1, OperatorConfig: &config, Cores: options.Cores})
 		if err != nil {
 			return 0, nil, err
 		}
-		if err := startPinned(apart, o.Cores, func() error { return node.Start(ctx) }); err != nil {
+		if err := startPinned(pinned, options.Cores, func() error { return node.Start(ctx) }); err != nil {
 			return 0, nil, err
 		}
 		defer node.Kill()
 	}
-	speakers, err := newSenders(ctx, listen, 2*o.Cores)
+	senders, err := newSenders(ctx, listen, 2*options.Cores)
 	if err != nil {
 		return 0, nil, err
 	}
-	if err := awaitAllFlows(ctx, speakers, in); err != nil {
+	if err := awaitAllFlows(ctx, senders, in); err != nil {
 		return 0, nil, err
 	}
-	say := func(rate float64) {
+	sendAll := func(rate float64) {
 		speaking, stop := context.WithTimeout(ctx, measurementTime)
 		defer stop()
 		var wg sync.WaitGroup
-		for _, s := range speakers {
-			wg.Go(func() { s.send(speaking, rate/float64(len(speakers))) })
+		for _, s := range senders {
+			wg.Go(func() { s.send(speaking, rate/float64(len(senders))) })
 		}
 		wg.Wait()
 	}
 	in.recordDelays(true)
-	say(pacedRate)
+	sendAll(pacedRate)
 	delay = in.recordDelays(false)
-	came, begun := in.received.Load(), time.Now()
-	say(0)
+	before, begun := in.received.Load(), time.Now()
+	sendAll(0)
 	fake.Sleep(ctx, 20*time.Millisecond)
-	return float64(in.received.Load()-came) / time.Since(begun).Seconds(), delay, ctx.Err()
+	return float64(in.received.Load()-before) / time.Since(begun).Seconds(), delay, ctx.Err()
 }
 
 // settled waits until every flow has its place.
-func awaitAllFlows(ctx context.Context, speakers []sender, in *receiver) error {
+func awaitAllFlows(ctx context.Context, senders []sender, in *receiver) error {
 	for begun := time.Now(); ; {
 		before, sent := in.received.Load(), 0
-		for _, s := range speakers {
+		for _, s := range senders {
 			for _, c := range s.conns {
 				n, _ := c.WriteBatch([]ipv4.Message{{Buffers: [][]byte{make([]byte, 64)}}}, 0)
 				sent += max(n, 0)
--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -63,76 +63,76 @@
 
 // Play plays the scene: short flows through a table of fixed size, while servers
 // drain, fall, and come back; then one source's flood of new flows.
-func Play(ctx context.Context, o Options) (*testbed.Result, error) {
-	s := &run{Options: o, Result: testbed.NewResult("udp", o.Seed), discovery: fake.NewDiscovery(),
+func Play(ctx context.Context, options Options) (*testbed.Result, error) {
+	r := &run{Options: options, Result: testbed.NewResult("udp", options.Seed), discovery: fake.NewDiscovery(),
 		lastServer: map[string]string{}, disturbedAt: map[string]time.Time{}, hungSince: map[string]time.Time{}}
-	s.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
-	defer s.discovery.Close()
-	if _, ok := Mutations[o.Mutation]; o.Mutation != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", o.Mutation)
+	r.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
+	defer r.discovery.Close()
+	if _, ok := Mutations[options.Mutation]; options.Mutation != "" && !ok {
+		return nil, fmt.Errorf("no mutation %q", options.Mutation)
 	}
 	dir, err := os.MkdirTemp("", "coralscenario-")
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary := o.Binary
-	if o.Mutation != "" {
+	binary := options.Binary
+	if options.Mutation != "" {
 		if binary, err = testbed.BuildMutated(ctx, dir, "coralrelay"); err != nil {
 			return nil, err
 		}
 	}
-	discovery, err := s.discovery.Listen("n0")
+	discovery, err := r.discovery.Listen("n0")
 	if err != nil {
 		return nil, err
 	}
-	own := operatorconfig.Default()
-	if own.UDP.Listen, err = testbed.Reserve(); err != nil {
+	config := operatorconfig.Default()
+	if config.UDP.Listen, err = testbed.Reserve(); err != nil {
 		return nil, err
 	}
-	own.UDP.Flows, own.UDP.Sockets, own.UDP.Idle.Duration = o.Table, o.Table, time.Second
-	if o.Shared || o.Mutation == "stale" {
-		own.UDP.Mode, own.UDP.Proxy = "shared", true
+	config.UDP.Flows, config.UDP.Sockets, config.UDP.Idle.Duration = options.Table, options.Table, time.Second
+	if options.Shared || options.Mutation == "stale" {
+		config.UDP.Mode, config.UDP.Proxy = "shared", true
 	}
-	own.UDP.Silence.After.Duration = 500 * time.Millisecond
-	own.UDP.Reserve, own.UDP.Settled, own.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
-	s.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
-		Nodes: 1, Mutation: o.Mutation, OperatorConfig: &own, Cores: o.Cores, Sockets: o.Table + 2000})
+	config.UDP.Silence.After.Duration = 500 * time.Millisecond
+	config.UDP.Reserve, config.UDP.Settled, config.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
+	r.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
+		Nodes: 1, Mutation: options.Mutation, OperatorConfig: &config, Cores: options.Cores, Sockets: options.Table + 2000})
 	if err != nil {
 		return nil, err
 	}
-	for i := range o.Servers {
-		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Observer: testbed.CountingObserver{Result: s.Result}, Capacity: 100 * concurrentFlows, Datagrams: s.observeDatagram, Late: 0.05})
-		addrs, err := v.Start([]string{"n0"})
+	for i := range options.Servers {
+		server := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
+			Observer: testbed.CountingObserver{Result: r.Result}, Capacity: 100 * concurrentFlows, Datagrams: r.observeDatagram, Late: 0.05})
+		addrs, err := server.Start([]string{"n0"})
 		if err != nil {
 			return nil, err
 		}
-		defer v.Kill()
-		s.servers = append(s.servers, v)
-		s.discovery.Set(v.Name, fake.Active, time.Time{}, addrs)
+		defer server.Kill()
+		r.servers = append(r.servers, server)
+		r.discovery.Set(server.Name, fake.Active, time.Time{}, addrs)
 	}
-	if err := s.node.Start(ctx); err != nil {
+	if err := r.node.Start(ctx); err != nil {
 		return nil, err
 	}
-	defer s.node.Kill()
-	if o.Flood {
-		s.playFlood(ctx, own.UDP)
+	defer r.node.Kill()
+	if options.Flood {
+		r.playFlood(ctx, config.UDP)
 	} else {
-		s.playShortFlows(ctx, own.UDP.Listen)
+		r.playShortFlows(ctx, config.UDP.Listen)
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	fake.Sleep(ctx, 2*time.Second+own.UDP.Idle.Duration/2) // all are silent, and forgotten
-	return s.Result, s.checkNodeCounters(filepath.Join(dir, "n0", "log"))
+	fake.Sleep(ctx, 2*time.Second+config.UDP.Idle.Duration/2) // all are silent, and forgotten
+	return r.Result, r.checkNodeCounters(filepath.Join(dir, "n0", "log"))
 }
 
-func (s *run) playShortFlows(ctx context.Context, to string) {
+func (r *run) playShortFlows(ctx context.Context, to string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var faults sync.WaitGroup
-	faults.Go(func() { s.injectFaults(ctx) })
+	faults.Go(func() { r.injectFaults(ctx) })
 	var next atomic.Int64
 	var flows sync.WaitGroup
 	for i := range concurrentFlows {
@@ -140,19 +140,19 @@
 			fake.Sleep(ctx, time.Duration(i)*arrivals/concurrentFlows)
 			for ctx.Err() == nil {
 				n := next.Add(1)
-				if n > int64(s.Flows) {
+				if n > int64(r.Flows) {
 					return
 				}
 				name := fmt.Sprintf("f%d", n)
 				answered, strange := fake.ProbeFlow(ctx, to, name, uint32(n%clientAddresses), 3, 15*time.Millisecond)
-				s.AddMetric("answered", float64(answered))
-				s.AddMetric("sent", 3)
+				r.AddMetric("answered", float64(answered))
+				r.AddMetric("sent", 3)
 				for _, text := range strange {
-					s.AddViolation("stray", fmt.Sprintf("%s got %q", name, text))
+					r.AddViolation("stray", fmt.Sprintf("%s got %q", name, text))
 				}
-				s.mu.Lock()
-				delete(s.lastServer, name)
-				s.mu.Unlock()
+				r.mu.Lock()
+				delete(r.lastServer, name)
+				r.mu.Unlock()
 			}
 		})
 	}
@@ -166,7 +166,7 @@
 			running = false
 		case <-time.After(200 * time.Millisecond):
 		}
-		part, size := float64(next.Load())/float64(s.Flows), s.node.ResidentMemory()
+		part, size := float64(next.Load())/float64(r.Flows), r.node.ResidentMemory()
 		switch {
 		case part > 0.75:
 			late, lates = late+size, lates+1
@@ -174,16 +174,16 @@
 			early, earlies = early+size, earlies+1
 		}
 		peak = max(peak, size)
-		if s.Progress != nil {
-			fmt.Fprintf(s.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), s.Metric("drains"), s.Metric("servers killed"), size/1e6)
+		if r.Progress != nil {
+			fmt.Fprintf(r.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), r.Metric("drains"), r.Metric("servers killed"), size/1e6)
 		}
 	}
-	s.SetMetric("node MB at most", peak/1e6)
+	r.SetMetric("node MB at most", peak/1e6)
 	if earlies > 0 && lates > 0 {
 		growth := late/float64(lates)/(early/float64(earlies)) - 1
-		s.SetMetric("memory growth in the second half", growth)
-		if growth > 0.1 && s.Flows >= 10*s.Table { // else the table may still be filling
-			s.AddViolation("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
+		r.SetMetric("memory growth in the second half", growth)
+		if growth > 0.1 && r.Flows >= 10*r.Table { // else the table may still be filling
+			r.AddViolation("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
 		}
 	}
 	cancel()
