--- a/internal/scenario/demo/demo.go
+++ b/internal/scenario/demo/demo.go
@@ -1,10 +1,11 @@
+// Package demo shows a node at work on a terminal: clients come one after another, and one of
+// four fake servers drains half way. It checks nothing.
 package demo
 
 import (
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -14,79 +15,144 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
+const (
+	serverCount    = 4
+	clientCount    = 60
+	clientInterval = 50 * time.Millisecond // between the first lines of one client and the next
+	nodeName       = "n0"
+	drainingServer = 3 // its index
+)
+
 // Options size the demo.
 type Options struct {
-	Binary  string
+	Binary  string // the node's
 	Seconds int
 	Out     io.Writer
 }
 
-// Run shows a node at work: four feed servers, one of which drains half way.
-func Run(ctx context.Context, o Options) error {
-	const servers, clients = 4, 60
-	dir, err := os.MkdirTemp("", "coralscenario-")
+// demo is one run.
+type demo struct {
+	Options
+	observer  testbed.CountingObserver
+	discovery *fake.Discovery
+	servers   []*fake.Server
+	node      *testbed.Node
+}
+
+// Run shows a node at work until the time is over, or until ctx ends. Its goroutines, one a
+// client, have ended when it returns.
+func Run(ctx context.Context, options Options) error {
+	dir, remove, err := testbed.TempDir()
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	seen := testbed.CountingObserver{Result: testbed.NewResult("demo", 1)}
-	feed, roster := fake.NewFeed(10, 10, 1), fake.NewDiscovery()
-	defer roster.Close()
-	discovery, err := roster.Listen("n0")
+	defer remove()
+	d := &demo{
+		Options:   options,
+		observer:  testbed.CountingObserver{Result: testbed.NewResult("demo", 1)},
+		discovery: fake.NewDiscovery(),
+	}
+	defer d.close()
+	if err := d.start(ctx, dir); err != nil {
+		return err
+	}
+
+	running, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	d.startClients(running, &wg)
+	d.show(ctx)
+	stop()
+	wg.Wait()
+
+	if len(d.observer.Violations) > 0 {
+		return d.observer.Finish(d.Out, "")
+	}
+	return ctx.Err()
+}
+
+// start starts the servers and the node.
+func (d *demo) start(ctx context.Context, dir string) error {
+	addr, err := d.discovery.Listen(nodeName)
 	if err != nil {
 		return err
 	}
-	var list []*fake.Server
-	for i := range servers {
-		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: feed, Observer: seen,
-			History: 100, Capacity: 2 * clients / servers})
-		addrs, err := v.Start([]string{"n0"})
+	feed := fake.NewFeed(10, 10, 1)
+	for i := range serverCount {
+		server, _, err := testbed.StartWarmServer(d.discovery, fake.ServerOptions{
+			Name:     fmt.Sprintf("s%d", i),
+			Feed:     feed,
+			Observer: d.observer,
+			History:  100,
+			Capacity: 2 * clientCount / serverCount,
+		}, []string{nodeName})
 		if err != nil {
 			return err
 		}
-		defer v.Kill()
-		list = append(list, v)
-		roster.Set(v.Name, fake.Active, time.Time{}, addrs)
+		d.servers = append(d.servers, server)
 	}
-	n, err := testbed.NewNode(testbed.NodeOptions{Binary: o.Binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery, Nodes: 1})
+	d.node, err = testbed.NewNode(testbed.NodeOptions{
+		Binary:    d.Binary,
+		Name:      nodeName,
+		Dir:       filepath.Join(dir, nodeName),
+		Discovery: addr,
+		Nodes:     1,
+	})
 	if err != nil {
 		return err
 	}
-	if err := n.Start(ctx); err != nil {
-		return err
+	return d.node.Start(ctx)
+}
+
+// close ends the node, then the servers and discovery.
+func (d *demo) close() {
+	if d.node != nil {
+		d.node.Kill()
 	}
-	nodes := testbed.Nodes{n}
-	defer nodes.KillAll()
-	running, stop := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer stop()
-	for i := range clients {
-		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: testbed.Patience,
-			Nodes: nodes, Observer: seen, WithoutResumption: true}
-		c.Seed(1, uint64(i))
+	for _, server := range d.servers {
+		server.Kill()
+	}
+	d.discovery.Close()
+}
+
+// startClients has clients come one after another until ctx ends.
+func (d *demo) startClients(ctx context.Context, wg *sync.WaitGroup) {
+	for i := range clientCount {
+		client := &fake.Client{
+			Key:               fmt.Sprintf("k%d", i),
+			Group:             fmt.Sprintf("g%d", i%10),
+			Class:             "feed",
+			Patience:          testbed.Patience,
+			Nodes:             testbed.Nodes{d.node},
+			Observer:          d.observer,
+			WithoutResumption: true,
+		}
+		client.Seed(1, uint64(i))
 		wg.Go(func() {
-			fake.Sleep(running, time.Duration(i)*50*time.Millisecond) // they come one after another
-			c.Run(running)
+			fake.Sleep(ctx, time.Duration(i)*clientInterval)
+			client.Run(ctx)
 		})
 	}
-	fmt.Fprintf(o.Out, "One node, %d feed servers, %d clients. Each mark is a connection at that server.\n", servers, clients)
-	for second := 1; second <= o.Seconds && fake.Sleep(ctx, time.Second); second++ {
-		if second == o.Seconds/2 {
-			fmt.Fprintln(o.Out, "      s3 drains: the roster says so, and the node moves its clients")
-			list[3].Drain(0)
-			roster.Set("s3", fake.Leaving, time.Time{}, nil)
+}
+
+// show prints each second how many connections each server has, and drains one half way.
+func (d *demo) show(ctx context.Context) {
+	d.printf("One node, %d feed servers, %d clients. Each mark is a connection at that server.\n", serverCount, clientCount)
+	for second := 1; second <= d.Seconds && fake.Sleep(ctx, time.Second); second++ {
+		if second == d.Seconds/2 {
+			server := d.servers[drainingServer]
+			d.printf("      %s drains: discovery says so, and the node moves its clients\n", server.Name)
+			server.Drain(0)
+			d.discovery.Set(server.Name, fake.Leaving, time.Time{}, nil)
 		}
-		fmt.Fprintf(o.Out, "%3d s", second)
-		for _, v := range list {
-			fmt.Fprintf(o.Out, "  %s %-24s", v.Name, strings.Repeat("#", v.OpenConnections()))
+		d.printf("%3d s", second)
+		for _, server := range d.servers {
+			d.printf("  %s %-24s", server.Name, strings.Repeat("#", server.OpenConnections()))
 		}
-		fmt.Fprintln(o.Out)
+		d.printf("\n")
 	}
-	fmt.Fprintf(o.Out, "%g connections placed, %g busy answers, %g moved, node at %.1f MB\n", seen.Metric("UP"), seen.Metric("BUSY"),
-		seen.Metric("moved"), n.ResidentMemory()/1e6)
-	if len(seen.Violations) > 0 {
-		return seen.Finish(o.Out, "")
-	}
-	return ctx.Err()
+	d.printf("%g connections placed, %g busy answers, %g moved, node at %.1f MB\n",
+		d.observer.Metric("UP"), d.observer.Metric("BUSY"), d.observer.Metric("moved"), d.node.ResidentMemory()/1e6)
 }
+
+// printf writes to the terminal; an error there has no one to be told.
+func (d *demo) printf(format string, args ...any) { _, _ = fmt.Fprintf(d.Out, format, args...) }
--- /dev/null
+++ b/internal/scenario/resume/metrics.go
@@ -0,0 +1,50 @@
+package resume
+
+import (
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// minMovesForAllFaults is the size of a run that has to see every kind of fault.
+const minMovesForAllFaults = 500
+
+// histograms keep times in microseconds, by whether the client presented a token.
+type histograms map[bool]*hdrhistogram.Histogram
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
+
+func newHistograms() histograms { return histograms{false: newHistogram(), true: newHistogram()} }
+
+// quantileMs returns a quantile, 0 to 100, of a histogram of microseconds in milliseconds.
+func quantileMs(histogram *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(histogram.ValueAtQuantile(quantile)) / 1000
+}
+
+// recordMetrics sets the metrics of the whole run, and requires that it provoked what it checks.
+func (r *run) recordMetrics() {
+	r.SetMetric("gap ms p50", quantileMs(r.deliveryGaps, 50))
+	r.SetMetric("gap ms p99", quantileMs(r.deliveryGaps, 99))
+	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
+		for _, quantile := range []float64{50, 99} {
+			r.SetMetric(fmt.Sprintf("set-up ms p%g %s", quantile, name), quantileMs(r.setupTimes[presented], quantile))
+			r.SetMetric(fmt.Sprintf("stream begins ms p%g %s", quantile, name), quantileMs(r.streamStartTimes[presented], quantile))
+		}
+	}
+	r.SetMetric("bytes of resumptions against snapshots",
+		r.Metric("bytes of resumptions")/max(1, r.Metric("bytes of snapshots in their place")))
+	presentations := r.Metric("presented again") + r.Metric("stolen") + r.Metric("spoiled") + r.Metric("presentations served")
+	r.SetMetric("refused tokens", presentations-r.Metric("resumed"))
+
+	for _, metric := range []string{"drains", "presented again", "stolen", "spoiled", "snapshots", "resumed"} {
+		r.RequireAtLeast(metric, 1)
+	}
+	if r.Moves < minMovesForAllFaults {
+		return
+	}
+	for _, metric := range []string{"planned restarts", "nodes killed", "servers killed", "overloads", "key rotations",
+		"tokens with a peer as arbiter"} {
+		r.RequireAtLeast(metric, 1)
+	}
+	r.RequireAtLeast("resumed", r.Metric("moves")/4)
+}
--- a/internal/scenario/resume/observer.go
+++ b/internal/scenario/resume/observer.go
@@ -9,14 +9,14 @@
 	"coralrelay/internal/resumetoken"
 )
 
-// ---- what the stand-ins tell ----
+// The fake servers and clients report to the run by these methods.
 
 // Opened holds first lines to the drain rule.
 func (r *run) Opened(line fake.Opened) {
 	r.CheckDrain(r.discovery, line.Node, line.Server, line.Key, line.At)
 }
 
-// Started holds streams to the rule of one use.
+// Started checks that a token starts one stream at most, and that of the client it was given to.
 func (r *run) Started(stream fake.Started) {
 	if stream.Resumed {
 		r.AddMetric("resumed", 1)
@@ -41,7 +41,7 @@
 	}
 }
 
-// Answered counts final answers.
+// Answered counts final answers and keeps how long the good ones took.
 func (r *run) Answered(_, answer string, presented bool, took time.Duration) {
 	r.AddMetric("answers "+answer, 1)
 	if presented && answer == "UP" {
@@ -54,7 +54,7 @@
 	}
 }
 
-// Moved keeps the token for those who present it again.
+// Moved checks that the token can be opened, and keeps it for presentBadTokens.
 func (r *run) Moved(key, group, token string) {
 	r.AddMetric("moves", 1)
 	if token == "" {
@@ -72,12 +72,10 @@
 		r.AddMetric("tokens with a peer as arbiter", 1)
 	}
 	r.ownerByNonce[hex.EncodeToString(opened.Nonce[:])] = key
-	if r.recentTokens = append(r.recentTokens, issuedToken{key, group, token, time.Now()}); len(r.recentTokens) > 300 {
-		r.recentTokens = r.recentTokens[1:]
-	}
+	r.keepToken(issuedToken{key, group, token, time.Now()})
 }
 
-// Streaming keeps the gap in delivery.
+// Streaming keeps how long the stream took to begin and the gap in delivery before it.
 func (r *run) Streaming(_ string, presented, resumed bool, wait, gap time.Duration) {
 	r.mu.Lock()
 	_ = r.streamStartTimes[presented].RecordValue(wait.Microseconds())
@@ -92,25 +90,3 @@
 	defer r.mu.Unlock()
 	_ = r.deliveryGaps.RecordValue(gap.Microseconds())
 }
-
-func (r *run) recordMetrics() {
-	r.SetMetric("gap ms p50", float64(r.deliveryGaps.ValueAtQuantile(50))/1000)
-	r.SetMetric("gap ms p99", float64(r.deliveryGaps.ValueAtQuantile(99))/1000)
-	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
-		for _, quantile := range []float64{50, 99} {
-			r.SetMetric(fmt.Sprintf("set-up ms p%g %s", quantile, name), float64(r.setupTimes[presented].ValueAtQuantile(quantile))/1000)
-			r.SetMetric(fmt.Sprintf("stream begins ms p%g %s", quantile, name), float64(r.streamStartTimes[presented].ValueAtQuantile(quantile))/1000)
-		}
-	}
-	r.SetMetric("bytes of resumptions against snapshots", r.Metric("bytes of resumptions")/max(1, r.Metric("bytes of snapshots in their place")))
-	r.SetMetric("refused tokens", r.Metric("presented again")+r.Metric("stolen")+r.Metric("spoiled")+r.Metric("presentations served")-r.Metric("resumed"))
-	for _, metric := range []string{"drains", "presented again", "stolen", "spoiled", "snapshots", "resumed"} {
-		r.RequireAtLeast(metric, 1)
-	}
-	if r.Moves >= 500 { // a short run need not see each
-		for _, metric := range []string{"planned restarts", "nodes killed", "servers killed", "overloads", "key rotations", "tokens with a peer as arbiter"} {
-			r.RequireAtLeast(metric, 1)
-		}
-		r.RequireAtLeast("resumed", r.Metric("moves")/4)
-	}
-}
--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	mrand "math/rand/v2"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -77,13 +75,3 @@
 		}
 	}
 }
-
-// BuildMutated builds one of the commands with guards that can be taken out.
-func BuildMutated(ctx context.Context, dir, command string) (binary string, err error) {
-	binary = filepath.Join(dir, command+"-mutated")
-	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "mutation", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("build with -tags mutation, from the module's root: %w: %s", err, out)
-	}
-	return binary, nil
-}
