--- a/internal/scenario/fleet/fleet.go
+++ b/internal/scenario/fleet/fleet.go
@@ -1,5 +1,11 @@
-// Package rig plays scenes: real nodes and stand-ins on loopback, a seeded script
-// with faults, and checks of the rules from the stand-ins' side.
+// Package fleet plays the scenario of nodes whose agents share quotas and outlier reports by
+// gossip: a cold server comes in a surge while a third of the nodes is cut off, most nodes
+// crash, false members speak, and servers fail. It checks at the fake servers that cold ones get
+// no more than their budget, that failing ones are ejected and healthy ones are not, and that
+// retries stay within their ratio.
+//
+// Play owns all processes, fake servers and goroutines, by way of its testbed; all have ended
+// when it returns.
 package fleet
 
 import (
@@ -7,75 +13,81 @@
 	"fmt"
 	"io"
 	mrand "math/rand/v2"
-	"os"
 	"time"
 
 	"coralrelay/internal/fake"
 	"coralrelay/internal/scenario/testbed"
 )
 
-// Options size the scene of what nodes share.
+// Options size the scenario.
 type Options struct {
 	Seed             uint64
 	Nodes, Servers   int
-	Rate             float64  // transactions a second in usual times
-	Steps            []string // of the script, empty for all; members meet in any case
-	WithoutAgents    bool     // nodes have no agents: figures for comparison, bounds not checked
-	Binary, Mutation string   // the agent's binary is beside the node's
-	Progress         io.Writer
+	Rate             float64   // transactions a second in usual times
+	Steps            []string  // names of phases, empty for all; the first is played in any case
+	WithoutAgents    bool      // nodes have no agents: metrics for comparison, bounds not checked
+	Binary, Mutation string    // the node's binary, with the agent's beside it; a key of Mutations or empty
+	Progress         io.Writer // nil for none
 }
 
-// Mutations are the guards that the scenario can switch off; deaf sits in the node, all others in the agent.
+// Mutations are the guards that the scenario can switch off. All but mutationDeaf are in the
+// agent.
 var Mutations = map[string]string{
-	"ranks":  "each member takes a cold server's whole budget, whatever the others take",
-	"expire": "who has failed keeps his tokens for good",
-	"quorum": "one member's accusation is a verdict",
-	"open":   "messages need no key",
-	"budget": "retries have no bound",
-	"deaf":   "the agent's grants do not reach the node, which goes by its own reckoning",
+	"ranks":      "each member takes a cold server's whole budget, whatever the others take",
+	"expire":     "who has failed keeps his tokens for good",
+	"quorum":     "one member's accusation is a verdict",
+	"open":       "messages need no key",
+	"budget":     "retries have no bound",
+	mutationDeaf: "the agent's grants do not reach the node, which goes by its own reckoning",
 }
 
-// The scene's world, and its script's times.
+// mutationDeaf is a fault of the node.
+const mutationDeaf = "deaf"
+
+// The settings of nodes and agents.
 const (
-	rampTime          = 12 * time.Second
-	budgetWindow      = 1500 * time.Millisecond
-	retryRatio        = 0.05
-	leaseTimeout      = 3 * time.Second
-	partitionDuration = 10 * time.Second
-	surgeRate         = 6.0 // times the usual rate
-	// leastUse is the part of a cold server's budget that those who are left after a fall
-	// use: half of it is dealt, by rates that they still learn.
-	minBudgetUse = 0.12
+	rampTime     = 12 * time.Second
+	budgetWindow = 1500 * time.Millisecond
+	retryRatio   = 0.05
+	leaseTimeout = 3 * time.Second
 )
 
-// run is one run.
+// surgeRate is the rate of a surge, in multiples of the usual one.
+const surgeRate = 6.0
+
+// run is one run of the scenario.
 type run struct {
 	Options
 	*testbed.Testbed
 }
 
-// Play plays the scene: nodes with agents that gossip through a relay with faults, while
-// a cold server comes in a surgeRate and a third of the nodes is cut off, servers fail, and
-// false members speak.
+// Play plays the scenario. The result holds what broke; an error says that it could not run.
 func Play(ctx context.Context, options Options) (*testbed.Result, error) {
-	if _, ok := Mutations[options.Mutation]; options.Mutation != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", options.Mutation)
+	if err := testbed.CheckMutation(Mutations, options.Mutation); err != nil {
+		return nil, err
+	}
+	bedOptions := testbed.Options{
+		Scenario:      "fleet",
+		Seed:          options.Seed,
+		Nodes:         options.Nodes,
+		Servers:       options.Servers,
+		Rate:          options.Rate,
+		WithoutAgents: options.WithoutAgents,
+		Binary:        options.Binary,
+		Mutation:      options.Mutation,
+		Progress:      options.Progress,
+		Ramp:          rampTime,
+		BudgetWindow:  budgetWindow,
+		LeaseTimeout:  leaseTimeout,
+		RetryRatio:    retryRatio,
 	}
-	bedOptions := testbed.Options{Scenario: "fleet", Seed: options.Seed, Nodes: options.Nodes, Servers: options.Servers, Rate: options.Rate, WithoutAgents: options.WithoutAgents, Binary: options.Binary,
-		Mutation: options.Mutation, Progress: options.Progress, Ramp: rampTime, BudgetWindow: budgetWindow, LeaseTimeout: leaseTimeout, RetryRatio: retryRatio}
 	if options.Mutation != "" {
-		dir, err := os.MkdirTemp("", "coralscenario-")
+		dir, remove, err := testbed.TempDir()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		program := &bedOptions.Agent
-		name := "coralagent"
-		if options.Mutation == "deaf" {
-			program, name = &bedOptions.Binary, "coralrelay"
-			bedOptions.Agent = testbed.SiblingBinary(options.Binary, "coralagent")
-		}
-		if *program, err = testbed.BuildMutated(ctx, dir, name); err != nil {
+		defer remove()
+		if err := useMutatedBinary(ctx, dir, &bedOptions); err != nil {
 			return nil, err
 		}
 	}
@@ -87,27 +99,50 @@
 	r := &run{options, bed}
 	r.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		options.Nodes, rampTime, partitionDuration)
-	steps := []testbed.Phase{{Name: "meet", Run: r.gather}, {Name: "cold", Run: r.coldServerUnderPartition}, {Name: "fall", Run: r.crashMostNodes}, {Name: "lies", Run: r.falseReports},
-		{Name: "bad", Run: r.failingServers}, {Name: "full", Run: r.rejectingServers}}
-	if err := r.Play(ctx, steps, options.Steps); err != nil {
+	if err := r.Play(ctx, r.phases(), options.Steps); err != nil {
 		return nil, err
 	}
 	r.CheckRetryBudget()
 	return r.Result, ctx.Err()
 }
 
-// meet lets members find each other, and nodes learn the usual rate.
+// useMutatedBinary builds the program that has the mutation, and sets it in the options.
+func useMutatedBinary(ctx context.Context, dir string, options *testbed.Options) (err error) {
+	if options.Mutation != mutationDeaf {
+		options.Agent, err = testbed.BuildMutated(ctx, dir, "coralagent")
+		return err
+	}
+	options.Agent = testbed.SiblingBinary(options.Binary, "coralagent")
+	options.Binary, err = testbed.BuildMutated(ctx, dir, "coralrelay")
+	return err
+}
+
+// phases is the script; its names are those that --steps takes.
+func (r *run) phases() []testbed.Phase {
+	return []testbed.Phase{
+		{Name: "meet", Run: r.gather},
+		{Name: "cold", Run: r.coldServerUnderPartition},
+		{Name: "fall", Run: r.crashMostNodes},
+		{Name: "lies", Run: r.falseReports},
+		{Name: "bad", Run: r.failingServers},
+		{Name: "full", Run: r.rejectingServers},
+	}
+}
+
+// gather lets members find each other and nodes learn the usual rate, and measures the gossip.
 func (r *run) gather(ctx context.Context, _ *mrand.Rand) error {
 	fake.Sleep(ctx, 5*time.Second)
 	bytesBefore, begunAt := r.gossipBytes(), time.Now()
 	fake.Sleep(ctx, 3*time.Second)
-	r.SetMetric("gossip_bytes_per_node_per_s", float64(r.gossipBytes()-bytesBefore)/float64(len(r.Names))/time.Since(begunAt).Seconds())
+	bytesPerNode := float64(r.gossipBytes()-bytesBefore) / float64(len(r.Names))
+	r.SetMetric("gossip_bytes_per_node_per_s", bytesPerNode/time.Since(begunAt).Seconds())
 	if !r.Options.WithoutAgents {
 		r.RequireAtLeast("gossip_bytes_per_node_per_s", 100)
 	}
 	return nil
 }
 
+// gossipBytes returns how many bytes all members have sent one another.
 func (r *run) gossipBytes() (bytes uint64) {
 	for _, name := range r.Names {
 		n, _ := r.Proxy.Transferred(name)
@@ -116,15 +151,9 @@
 	return bytes
 }
 
-// full has half of the servers turn every first line away, while their probes look well.
-func (r *run) rejectingServers(ctx context.Context, _ *mrand.Rand) error {
-	for _, server := range r.AllServers()[:r.Options.Servers/2] {
-		server.SetFault(fake.AnswersBusy)
-	}
-	fake.Sleep(ctx, 8*time.Second)
-	for _, server := range r.AllServers()[:r.Options.Servers/2] {
-		server.SetFault(fake.Healthy)
+// checkAgents notes that a bound was missed which only nodes with agents can keep.
+func (r *run) checkAgents(kept bool, rule, format string, args ...any) {
+	if !kept && !r.Options.WithoutAgents {
+		r.AddViolation(rule, fmt.Sprintf(format, args...))
 	}
-	fake.Sleep(ctx, time.Second)
-	return nil
 }
