--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -1,13 +1,19 @@
+// Package udp plays the scenario of flows of datagrams through one node: many short flows
+// through a small table while servers drain, hang and crash, or steady flows beside floods of
+// new ones. It checks at the fake servers that nothing reaches a server that drains, that a
+// silent one is left, that replies reach the flow they belong to and that the node's own counters
+// add up. PlaySpeed measures what forwarding costs against a bare loop of system calls.
+//
+// Play and PlaySpeed own all goroutines, processes and fake servers. All have ended when they
+// return.
 package udp
 
 import (
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"coralrelay/internal/fake"
@@ -15,177 +21,169 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// Options size the scene of flows of datagrams.
+// Options size the scenario.
 type Options struct {
-	Seed                  uint64
-	Flows, Table, Servers int
-	Steady                int  // flows beside floods
-	Flood                 bool // steady flows beside floods, in place of short ones
-	Cores                 int  // that the node has
-	Shared                bool // the node's flows share a socket to each next hop
-	Binary, Mutation      string
-	Progress              io.Writer
+	Seed             uint64
+	Flows            int       // short flows, in all
+	Table            int       // flows that the node's table holds
+	Servers          int       // fake servers
+	Steady           int       // flows beside floods
+	Flood            bool      // steady flows beside floods, in place of short ones
+	Cores            int       // that the node has
+	Shared           bool      // the node's flows share a socket to each upstream
+	Binary, Mutation string    // the node's binary; a key of Mutations or empty
+	Progress         io.Writer // nil for none
 }
 
-// Mutations are the guards that the scenario can switch off.
+// Mutations are the guards that the scenario can switch off, all in the node.
 var Mutations = map[string]string{
-	"drain":   "the node does not hear that a server drains",
-	"expiry":  "the node forgets no flow",
-	"silence": "the node's flows stay with a next hop that has fallen silent",
-	"source":  "the node does not bound new flows of one source",
-	"stale":   "the node passes replies on to flows that are over, or stand elsewhere",
+	"drain":       "the node does not hear that a server drains",
+	"expiry":      "the node forgets no flow",
+	"silence":     "the node's flows stay with a next hop that has fallen silent",
+	"source":      "the node does not bound new flows of one source",
+	mutationStale: "the node passes replies on to flows that are over, or stand elsewhere",
 }
 
-// beacons is how many flows are under way at once.
-const concurrentFlows = 300
+// mutationStale can be seen with shared sockets alone.
+const mutationStale = "stale"
 
-// arrivals is how long the flows take to come at first.
-const arrivals = 3 * time.Second
-
-// clients is how many addresses they have, which come again when the flow before is over.
-const clientAddresses = 20_000
+const (
+	nodeName = "n0"
+	// arrivals is how long the flows take to come at first.
+	arrivals = 3 * time.Second
+	// flowTimeout is how long a silent flow stays in the node's table.
+	flowTimeout = time.Second
+	// otherSockets is how many sockets the node may have beside one a flow.
+	otherSockets = 2000
+)
 
+// run is one run of the scenario.
 type run struct {
 	Options
 	*testbed.Result
 	discovery *fake.Discovery
 	servers   []*fake.Server
 	node      *testbed.Node
+	config    operatorconfig.UDP
 
 	mu          sync.Mutex
-	lastServer  map[string]string    // flow: the server that had its latest datagram
-	disturbedAt map[string]time.Time // server: when it last began to drain, fell or came back
-	hungSince   map[string]time.Time // server: since when it answers nothing
+	lastServer  map[string]string    // by flow: the server that had its latest datagram
+	disturbedAt map[string]time.Time // by server: when it last began to drain, crashed or came back
+	hungSince   map[string]time.Time // by server: since when it answers nothing
 }
 
-// hangs is how long a server answers nothing, of which the node may take noticing.
-const hangDuration, silenceDetection = 4 * time.Second, 1200 * time.Millisecond
-
-// Play plays the scene: short flows through a table of fixed size, while servers
-// drain, fall, and come back; then one source's flood of new flows.
+// Play plays the scenario. The result holds what broke; an error says that it could not run.
 func Play(ctx context.Context, options Options) (*testbed.Result, error) {
-	r := &run{Options: options, Result: testbed.NewResult("udp", options.Seed), discovery: fake.NewDiscovery(),
-		lastServer: map[string]string{}, disturbedAt: map[string]time.Time{}, hungSince: map[string]time.Time{}}
-	r.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
-	defer r.discovery.Close()
-	if _, ok := Mutations[options.Mutation]; options.Mutation != "" && !ok {
-		return nil, fmt.Errorf("no mutation %q", options.Mutation)
+	if err := testbed.CheckMutation(Mutations, options.Mutation); err != nil {
+		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "coralscenario-")
+	dir, remove, err := testbed.TempDir()
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	binary := options.Binary
-	if options.Mutation != "" {
+	defer remove()
+	r := &run{
+		Options:     options,
+		Result:      testbed.NewResult("udp", options.Seed),
+		discovery:   fake.NewDiscovery(),
+		lastServer:  map[string]string{},
+		disturbedAt: map[string]time.Time{},
+		hungSince:   map[string]time.Time{},
+	}
+	r.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
+	defer r.close()
+	if err := r.start(ctx, dir); err != nil {
+		return nil, err
+	}
+	if options.Flood {
+		r.playFlood(ctx)
+	} else {
+		r.playShortFlows(ctx)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	fake.Sleep(ctx, 2*time.Second+flowTimeout/2) // all flows are silent, and forgotten
+	if err := r.node.Terminate(); err != nil {
+		return nil, err
+	}
+	return r.Result, r.checkCounters(filepath.Join(dir, nodeName, "log"))
+}
+
+// start starts the servers and the node.
+func (r *run) start(ctx context.Context, dir string) (err error) {
+	binary := r.Binary
+	if r.Mutation != "" {
 		if binary, err = testbed.BuildMutated(ctx, dir, "coralrelay"); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	discovery, err := r.discovery.Listen("n0")
+	discovery, err := r.discovery.Listen(nodeName)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	config := operatorconfig.Default()
-	if config.UDP.Listen, err = testbed.Reserve(); err != nil {
-		return nil, err
+	if err := r.configure(&config.UDP); err != nil {
+		return err
 	}
-	config.UDP.Flows, config.UDP.Sockets, config.UDP.Idle.Duration = options.Table, options.Table, time.Second
-	if options.Shared || options.Mutation == "stale" {
-		config.UDP.Mode, config.UDP.Proxy = "shared", true
-	}
-	config.UDP.Silence.After.Duration = 500 * time.Millisecond
-	config.UDP.Reserve, config.UDP.Settled, config.UDP.After.Duration = 0.5, 2, 10*time.Millisecond
-	r.node, err = testbed.NewNode(testbed.NodeOptions{Binary: binary, Name: "n0", Dir: filepath.Join(dir, "n0"), Discovery: discovery,
-		Nodes: 1, Mutation: options.Mutation, OperatorConfig: &config, Cores: options.Cores, Sockets: options.Table + 2000})
+	r.config = config.UDP
+	r.node, err = testbed.NewNode(testbed.NodeOptions{
+		Binary:         binary,
+		Name:           nodeName,
+		Dir:            filepath.Join(dir, nodeName),
+		Discovery:      discovery,
+		Nodes:          1,
+		Mutation:       r.Mutation,
+		OperatorConfig: &config,
+		Cores:          r.Cores,
+		Sockets:        r.Table + otherSockets,
+	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	for i := range options.Servers {
-		server := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Observer: testbed.CountingObserver{Result: r.Result}, Capacity: 100 * concurrentFlows, Datagrams: r.observeDatagram, Late: 0.05})
-		addrs, err := server.Start([]string{"n0"})
+	for i := range r.Servers {
+		server, _, err := testbed.StartWarmServer(r.discovery, fake.ServerOptions{
+			Name:      fmt.Sprintf("s%d", i),
+			Feed:      fake.NewFeed(1, 1, 1),
+			Observer:  testbed.CountingObserver{Result: r.Result},
+			Capacity:  100 * concurrentFlows,
+			Datagrams: r.observeDatagram,
+			Late:      0.05,
+		}, []string{nodeName})
 		if err != nil {
-			return nil, err
+			return err
 		}
-		defer server.Kill()
 		r.servers = append(r.servers, server)
-		r.discovery.Set(server.Name, fake.Active, time.Time{}, addrs)
 	}
-	if err := r.node.Start(ctx); err != nil {
-		return nil, err
-	}
-	defer r.node.Kill()
-	if options.Flood {
-		r.playFlood(ctx, config.UDP)
-	} else {
-		r.playShortFlows(ctx, config.UDP.Listen)
+	return r.node.Start(ctx)
+}
+
+// configure sets what the operator's file says of datagrams.
+func (r *run) configure(config *operatorconfig.UDP) (err error) {
+	if config.Listen, err = testbed.Reserve(); err != nil {
+		return err
 	}
-	if err := ctx.Err(); err != nil {
-		return nil, err
+	config.Flows = r.Table
+	config.Sockets = r.Table
+	config.Idle.Duration = flowTimeout
+	if r.Shared || r.Mutation == mutationStale {
+		config.Mode = "shared"
+		config.Proxy = true
 	}
-	fake.Sleep(ctx, 2*time.Second+config.UDP.Idle.Duration/2) // all are silent, and forgotten
-	return r.Result, r.checkNodeCounters(filepath.Join(dir, "n0", "log"))
+	config.Silence.After.Duration = 500 * time.Millisecond
+	config.Reserve = 0.5
+	config.Settled = 2
+	config.After.Duration = 10 * time.Millisecond
+	return nil
 }
 
-func (r *run) playShortFlows(ctx context.Context, to string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var faults sync.WaitGroup
-	faults.Go(func() { r.injectFaults(ctx) })
-	var next atomic.Int64
-	var flows sync.WaitGroup
-	for i := range concurrentFlows {
-		flows.Go(func() {
-			fake.Sleep(ctx, time.Duration(i)*arrivals/concurrentFlows)
-			for ctx.Err() == nil {
-				n := next.Add(1)
-				if n > int64(r.Flows) {
-					return
-				}
-				name := fmt.Sprintf("f%d", n)
-				answered, strange := fake.ProbeFlow(ctx, to, name, uint32(n%clientAddresses), 3, 15*time.Millisecond)
-				r.AddMetric("answered", float64(answered))
-				r.AddMetric("sent", 3)
-				for _, text := range strange {
-					r.AddViolation("stray", fmt.Sprintf("%s got %q", name, text))
-				}
-				r.mu.Lock()
-				delete(r.lastServer, name)
-				r.mu.Unlock()
-			}
-		})
-	}
-	var early, late, peak float64 // resident memory: over the third quarter, over the last
-	var earlies, lates int
-	done := make(chan struct{})
-	go func() { flows.Wait(); close(done) }()
-	for running := true; running; {
-		select {
-		case <-done:
-			running = false
-		case <-time.After(200 * time.Millisecond):
-		}
-		part, size := float64(next.Load())/float64(r.Flows), r.node.ResidentMemory()
-		switch {
-		case part > 0.75:
-			late, lates = late+size, lates+1
-		case part > 0.5:
-			early, earlies = early+size, earlies+1
-		}
-		peak = max(peak, size)
-		if r.Progress != nil {
-			fmt.Fprintf(r.Progress, "\r%6d flows  %4.0f drains  %3.0f killed  node at %.1f MB ", next.Load(), r.Metric("drains"), r.Metric("servers killed"), size/1e6)
-		}
+// close ends the node, then the servers and discovery.
+func (r *run) close() {
+	if r.node != nil {
+		r.node.Kill()
 	}
-	r.SetMetric("node MB at most", peak/1e6)
-	if earlies > 0 && lates > 0 {
-		growth := late/float64(lates)/(early/float64(earlies)) - 1
-		r.SetMetric("memory growth in the second half", growth)
-		if growth > 0.1 && r.Flows >= 10*r.Table { // else the table may still be filling
-			r.AddViolation("memory", fmt.Sprintf("grew by %.0f%% from the third quarter to the last", 100*growth))
-		}
+	for _, server := range r.servers {
+		server.Kill()
 	}
-	cancel()
-	faults.Wait()
+	r.discovery.Close()
 }
