scenario/objectives: contracts, clients, allocations, checks and phases apart

testbed.OpenSession is a client's first line and its answer, which stood in testbed and here. Random draws, bounds, metrics and rule names are as before.

--- a/internal/scenario/objectives/contracts.go
+++ b/internal/scenario/objectives/contracts.go
@@ -4,6 +4,7 @@
 	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"coralrelay/internal/fleet/account"
@@ -12,34 +13,82 @@
 	"coralrelay/internal/fleet/slo"
 )
 
-// tenant is who has a contract: his realm has its name.
+// The tenants that checks name.
+const (
+	gold   = "gold"   // the first priority
+	silver = "silver" // may use all zones, as bronze
+	bronze = "bronze"
+	thin   = "thin"  // has few transactions
+	dream  = "dream" // its objective is one that no region can meet
+)
+
+const (
+	accountName = "acme"
+	// latencyObjective is that of all contracts that can be met.
+	latencyObjective = 40 * time.Millisecond
+	// unmeetableObjective is that of dream.
+	unmeetableObjective = 5 * time.Millisecond
+	contractQuantile    = 0.9
+	contractWindow      = 10 * time.Second
+	// clientOverhead is how much longer a client waits than its server takes: its node asks the
+	// upstream for its load first, and the client's own way comes on top.
+	clientOverhead = 10 * time.Millisecond
+)
+
+// tenant has a contract; its realm has the contract's name.
 type tenant struct {
 	slo.Contract
 	trafficShare float64 // of all transactions
 }
 
-// within is the bound of all contracts that can be kept.
-const latencyBound = 40 * time.Millisecond
+// boundAtClient is the objective as a client sees it.
+func (t *tenant) boundAtClient() time.Duration { return t.Objective + clientOverhead }
+
+// newTenant returns a tenant; its contract is for all zones if none are named.
+func newTenant(name string, priority int, trafficShare, target float64, objective time.Duration, zones ...string) tenant {
+	return tenant{
+		Contract: slo.Contract{
+			Name:      name,
+			Holder:    accountName + ":" + name,
+			Quantile:  contractQuantile,
+			Objective: objective,
+			Window:    contractWindow,
+			Target:    target,
+			Priority:  priority,
+			Zones:     zones,
+		},
+		trafficShare: trafficShare,
+	}
+}
 
-// tenants have contracts of three priorities; one may use two zones only, one has few
-// transactions, and one is promised what no region can keep.
+// tenants returns all, of three priorities. The second may use two zones only.
 func (r *run) tenants() []tenant {
-	of := func(name string, priority int, part, share float64, bound time.Duration, zones ...string) tenant {
-		return tenant{slo.Contract{Name: name, Holder: "acme:" + name, Quantile: 0.9, Objective: bound, Window: 10 * time.Second,
-			Target: share, Priority: priority, Zones: zones}, part}
+	return []tenant{
+		newTenant(gold, 0, 0.22, 0.8, latencyObjective),
+		newTenant("rigid", 1, 0.38, 0.8, latencyObjective, r.firstSlowZone, r.smallZone),
+		newTenant(silver, 1, 0.13, 0.8, latencyObjective),
+		newTenant(bronze, 2, 0.17, 0.8, latencyObjective),
+		newTenant(thin, 2, 0.03, 0.9, latencyObjective),
+		newTenant(dream, 0, 0.07, 0.8, unmeetableObjective),
 	}
-	return []tenant{of("gold", 0, 0.22, 0.8, latencyBound), of("rigid", 1, 0.38, 0.8, latencyBound, r.firstSlowZone, r.smallZone), of("silver", 1, 0.13, 0.8, latencyBound),
-		of("bronze", 2, 0.17, 0.8, latencyBound), of("thin", 2, 0.03, 0.9, latencyBound), of("dream", 0, 0.07, 0.8, 5*time.Millisecond)}
 }
 
-// agree founds an account with a route for each tenant, and sets the contracts.
+// tenant returns the one of a name; there is one.
+func (r *run) tenant(name string) tenant {
+	all := r.tenants()
+	return all[slices.IndexFunc(all, func(t tenant) bool { return t.Name == name })]
+}
+
+// createContracts creates an account with a route for each tenant, and sets the contracts.
 func (r *run) createContracts() error {
-	none := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1, Routes: -1, Teams: -1}
-	accounts := account.Change{Ops: []account.Op{{Kind: account.CreateAccount, Path: "acme", Node: &account.Node{Limits: none}}}}
+	unlimited := account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1, Routes: -1, Teams: -1}
+	accounts := account.Change{Ops: []account.Op{
+		{Kind: account.CreateAccount, Path: accountName, Node: &account.Node{Limits: unlimited}},
+	}}
 	var contracts slo.Change
 	for _, t := range r.tenants() {
-		accounts.Ops = append(accounts.Ops, account.Op{Kind: account.PutRoute, Path: "acme", Route: &account.Route{Name: t.Name,
-			Match: account.Match{Tenant: t.Name}, Limits: none, Contract: t.Name}})
+		route := &account.Route{Name: t.Name, Match: account.Match{Tenant: t.Name}, Limits: unlimited, Contract: t.Name}
+		accounts.Ops = append(accounts.Ops, account.Op{Kind: account.PutRoute, Path: accountName, Route: route})
 		contracts.Set = append(contracts.Set, t.Contract)
 	}
 	if err := r.proposeSigned(logentry.KindAccounts, accounts); err != nil {
@@ -48,14 +97,22 @@
 	return r.proposeSigned(logentry.KindContracts, contracts)
 }
 
+// proposeSigned signs a change with the root key and proposes it to the first agent. It is an
+// error if the replicated log does not accept it.
 func (r *run) proposeSigned(kind logentry.Kind, change any) error {
 	body, err := json.Marshal(change)
 	if err != nil {
 		return err
 	}
-	e := logentry.Entry{Kind: kind, ProposedAt: time.Now().UnixMilli(), Reason: "the scene", Body: body, KeyName: account.KeyName(r.rootKey.Public().(ed25519.PublicKey))}
-	e.Signature = ed25519.Sign(r.rootKey, e.SignedBytes())
-	raw, err := json.Marshal(e)
+	entry := logentry.Entry{
+		Kind:       kind,
+		ProposedAt: time.Now().UnixMilli(),
+		Reason:     "the scenario",
+		Body:       body,
+		KeyName:    account.KeyName(r.rootKey.Public().(ed25519.PublicKey)),
+	}
+	entry.Signature = ed25519.Sign(r.rootKey, entry.SignedBytes())
+	raw, err := json.Marshal(entry)
 	if err != nil {
 		return err
 	}
--- a/internal/scenario/objectives/metrics.go
+++ b/internal/scenario/objectives/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -9,78 +10,91 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
+// metricName returns the name of a metric of this run beside those of other variants.
 func (r *run) metricName(name string) string {
-	if r.variant == "" {
+	if r.variant.name == "" {
 		return name
 	}
-	return r.variant + "_" + name
+	return r.variant.name + "_" + name
 }
 
-// figures are those of the whole run.
-func (r *run) recordMetrics() {
+// keptPriority is the metric of the share of windows that tenants of a priority had kept.
+func keptPriority(priority int) string { return fmt.Sprint("kept_priority_", priority) }
+
+// playedTime returns the time from the first timed phase to the end of the last; ok is false if
+// none was played.
+func (r *run) playedTime() (played timeRange, ok bool) {
 	r.mu.Lock()
-	from, until := time.Time{}, time.Time{}
-	for _, p := range r.phaseTimes {
-		if from.IsZero() || p[0].Before(from) {
-			from = p[0]
+	defer r.mu.Unlock()
+	for _, phase := range r.phaseTimes {
+		if !ok || phase.from.Before(played.from) {
+			played.from = phase.from
 		}
-		if p[1].After(until) {
-			until = p[1]
+		if phase.until.After(played.until) {
+			played.until = phase.until
 		}
+		ok = true
 	}
-	r.mu.Unlock()
-	if from.IsZero() {
+	return played, ok
+}
+
+// recordMetrics sets the metrics of the whole run.
+func (r *run) recordMetrics() {
+	played, ok := r.playedTime()
+	if !ok {
 		return
 	}
-	until = until.Add(-testbed.Patience)
-	kept := map[int][]float64{}
+	from, until := played.from, played.until.Add(-testbed.Patience)
+	r.recordKept(from, until)
+	moved := 0.0
+	for _, change := range r.changesBetween(from, until) {
+		moved += change.movedShare
+	}
+	r.SetMetric(r.metricName("moved_tenants_a_minute"), moved/until.Sub(from).Minutes())
+	if r.variant.name == "" {
+		r.RequireAtLeast("tenants_up", 1000)
+	}
+}
+
+// recordKept sets the shares of windows kept, by tenant and by priority. The objective that
+// can't be met counts for no priority.
+func (r *run) recordKept(from, until time.Time) {
+	byPriority := map[int][]float64{}
 	for _, t := range r.tenants() {
-		share, n := r.keptShare(t, from, until)
+		share, windows := r.keptShare(t, from, until)
 		r.SetMetric(r.metricName("kept_of_"+t.Name), share)
-		if t.Name != "dream" && n > 0 {
-			kept[t.Priority] = append(kept[t.Priority], share)
+		if t.Name != dream && windows > 0 {
+			byPriority[t.Priority] = append(byPriority[t.Priority], share)
 		}
 	}
-	for priority, list := range kept {
+	for priority, shares := range byPriority {
 		sum := 0.0
-		for _, share := range list {
+		for _, share := range shares {
 			sum += share
 		}
-		r.SetMetric(r.metricName(fmt.Sprint("kept_priority_", priority)), sum/float64(len(list)))
-	}
-	moved := 0.0
-	for _, x := range r.changesBetween(from, until) {
-		moved += x.movedShare
-	}
-	r.SetMetric(r.metricName("moved_tenants_a_minute"), moved/until.Sub(from).Minutes())
-	if r.variant == "" {
-		r.RequireAtLeast("tenants_up", 1000)
+		r.SetMetric(r.metricName(keptPriority(priority)), sum/float64(len(shares)))
 	}
 }
 
-// beside puts a run's figures beside those of the one that is checked, which has to keep more
-// of the first two priorities.
-func (r *run) compareWith(first *run) {
-	for _, name := range slices.Sorted(ownMetricNames(r)) {
-		first.SetMetric(name, r.Metric(name))
+// compareWith adds this run's metrics and violations to those of the run that is checked, which
+// has to keep more of the first two priorities.
+func (r *run) compareWith(checked *run) {
+	for _, name := range slices.Sorted(maps.Keys(r.Metrics)) {
+		if strings.HasPrefix(name, r.variant.name+"_") {
+			checked.SetMetric(name, r.Metric(name))
+		}
 	}
-	for _, v := range r.Violations {
-		first.AddViolation(r.variant+" "+v.Rule, v.Detail)
+	for _, violation := range r.Violations {
+		checked.AddViolation(r.variant.name+" "+violation.Rule, violation.Detail)
 	}
-	for _, priority := range []int{0, 1} {
-		figure := fmt.Sprint("kept_priority_", priority)
-		if is, was := first.Metric(figure), r.Metric(r.metricName(figure)); is <= was && len(first.Steps) == 0 {
-			first.AddViolation("better", fmt.Sprintf("priority %d: %.3f of windows were kept, %s %.3f", priority, is, r.variant, was))
-		}
+	if len(checked.Steps) > 0 {
+		return // the runs are compared over the whole script
 	}
-}
-
-func ownMetricNames(s *run) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for name := range s.Metrics {
-			if strings.HasPrefix(name, s.variant+"_") && !yield(name) {
-				return
-			}
+	for _, priority := range []int{0, 1} {
+		metric := keptPriority(priority)
+		if ours, theirs := checked.Metric(metric), r.Metric(r.metricName(metric)); ours <= theirs {
+			checked.AddViolation("better", fmt.Sprintf("priority %d: %.3f of windows were kept, %s %.3f",
+				priority, ours, r.variant.name, theirs))
 		}
 	}
 }
--- /dev/null
+++ b/internal/scenario/objectives/run.go
@@ -0,0 +1,159 @@
+package objectives
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"coralrelay/internal/operatorconfig"
+	"coralrelay/internal/scenario/faultproxy"
+	"coralrelay/internal/scenario/testbed"
+)
+
+const (
+	// ownClientRate is the rate of the testbed's own clients, in multiples of the usual: they
+	// are under no contract.
+	ownClientRate = 0.02
+	// dropRatio is the part of the pieces between nodes and servers that is held up by a resend.
+	dropRatio = 0.004
+	// maxInflow and steeringPatience are fleet.promises.inflow and .patience.
+	maxInflow        = 0.15
+	steeringPatience = 45 * time.Second
+)
+
+// run is one run of the scenario.
+type run struct {
+	Options
+	*testbed.Testbed
+	variant variant
+	rootKey ed25519.PrivateKey // signs what operators propose
+
+	firstSlowZone  string // slow in the phase "slow"
+	secondSlowZone string // slow in the phase "other"
+	smallZone      string // has one server
+
+	mu           sync.Mutex
+	baseDelays   map[string]time.Duration // by zone: until a server that is not full answers
+	zoneLoads    map[string]float64       // by zone: 1 is what it can do
+	replies      []clientReply
+	changes      []steeringChange
+	phaseTimes   map[string]timeRange
+	unmetReasons map[string]string // by contract
+}
+
+// timeRange is the time between two.
+type timeRange struct{ from, until time.Time }
+
+// playVariant plays one run. All that it started has ended when it returns.
+func playVariant(ctx context.Context, options Options, v variant) (*run, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, err
+	}
+	bedOptions := newBedOptions(options, v)
+	bedOptions.OperatorConfig = func(_ string, config *operatorconfig.File) {
+		config.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
+		configure(config, options, bedOptions.Zones, v.steered)
+	}
+	bed, err := testbed.New(ctx, bedOptions)
+	if err != nil {
+		return nil, err
+	}
+	defer bed.Close()
+	r := newRun(options, v, bed, private)
+	r.setUpZones()
+
+	ctx, cancel := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer cancel()
+	all.Go(func() { r.updateZoneLoads(ctx) })
+	all.Go(func() { r.watchAllocations(ctx) })
+	err = bed.Play(ctx, r.phases(ctx, &all), options.Steps)
+	cancel()
+	all.Wait()
+	r.recordMetrics()
+	return r, err
+}
+
+// newBedOptions returns the options of a variant's testbed but for what its members' files say.
+func newBedOptions(options Options, v variant) testbed.Options {
+	bedOptions := testbed.Options{
+		Scenario:     "promises",
+		Seed:         options.Seed,
+		Nodes:        options.Nodes,
+		Servers:      options.Servers,
+		Voters:       options.Voters,
+		Rate:         options.Rate,
+		ProxyServers: true,
+		ReportLoad:   true,
+		Binary:       options.Binary,
+		Agent:        v.agent,
+		Mutation:     v.mutation,
+		Ramp:         rampTime,
+		BudgetWindow: budgetWindow,
+		LeaseTimeout: leaseTimeout,
+		RetryRatio:   retryRatio,
+	}
+	if v.name == "" {
+		bedOptions.Progress = options.Progress
+	}
+	for i := range options.Zones {
+		bedOptions.Zones = append(bedOptions.Zones, string(rune('a'+i)))
+	}
+	return bedOptions
+}
+
+// configure sets what a member's file says of zones and objectives.
+func configure(config *operatorconfig.File, options Options, zones []string, steered bool) {
+	evacuation := &config.Fleet.Zones
+	evacuation.Enabled = true
+	evacuation.Zones = zones
+	evacuation.Steady = duration(700 * time.Millisecond)
+	evacuation.Gap = duration(2 * time.Second)
+	evacuation.Ramp = duration(rampTime)
+	evacuation.Cold = testbed.SlowStartShare
+	evacuation.Bears = options.Rate / float64(options.Servers) / testbed.UsualLoad
+
+	steering := &config.Fleet.SLO
+	steering.Enabled = steered
+	steering.Pace = timeScale
+	steering.Step = maxStep
+	steering.Inflow = maxInflow
+	steering.Patience = duration(steeringPatience)
+}
+
+func duration(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
+
+func newRun(options Options, v variant, bed *testbed.Testbed, rootKey ed25519.PrivateKey) *run {
+	return &run{
+		Options:        options,
+		Testbed:        bed,
+		variant:        v,
+		rootKey:        rootKey,
+		firstSlowZone:  bed.Zones[1],
+		secondSlowZone: bed.Zones[0],
+		smallZone:      bed.Zones[2],
+		baseDelays:     map[string]time.Duration{},
+		zoneLoads:      map[string]float64{},
+		phaseTimes:     map[string]timeRange{},
+		unmetReasons:   map[string]string{},
+	}
+}
+
+// setUpZones leaves one server in the small zone, and sets the delays of servers and links.
+func (r *run) setUpZones() {
+	r.SetRate(ownClientRate)
+	for _, server := range r.ServersIn(r.smallZone)[1:] {
+		r.Leave(server.Name)
+	}
+	r.setSlowZones()
+	r.AnswerDelay = r.answerDelay
+	var servers []string
+	for _, server := range r.AllServers() {
+		servers = append(servers, server.Name)
+	}
+	r.Proxy.SetOneWay(r.Names, servers, faultproxy.Fault{Delay: time.Millisecond, Drop: dropRatio})
+}
--- a/internal/scenario/testbed/clients.go
+++ b/internal/scenario/testbed/clients.go
@@ -1,11 +1,10 @@
 package testbed
 
 import (
-	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	mrand "math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -14,85 +13,89 @@
 )
 
 const (
-	// atOnce bounds the transactions under way.
+	// maxOpenTransactions bounds the transactions under way.
 	maxOpenTransactions = 2000
-	// stays is how long a client stays that was served.
+	// stayDuration is how long a client stays that was served.
 	stayDuration = 150 * time.Millisecond
 )
 
-// Pace sets the rate, in multiples of the usual: what is more than usual are clients that come
+// SetRate sets the rate, in multiples of the usual: what is more than usual are clients that come
 // again.
 func (bed *Testbed) SetRate(times float64) { bed.setRate(times, true) }
 
-// Surge sets the rate likewise, of clients that come for the first time.
+// SetFirstVisitRate sets the rate likewise, of clients that all come for the first time.
 func (bed *Testbed) SetFirstVisitRate(times float64) { bed.setRate(times, false) }
 
-func (bed *Testbed) setRate(times float64, again bool) {
+func (bed *Testbed) setRate(times float64, extraReturn bool) {
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
-	bed.rate, bed.extraReturn = times*bed.Rate, again
+	bed.rate, bed.extraReturn = times*bed.Rate, extraReturn
 }
 
-// load opens transactions at the rate until ctx ends.
+// openTransactions opens transactions at the rate until ctx ends.
 func (bed *Testbed) openTransactions(ctx context.Context, wg *sync.WaitGroup) {
 	rng := mrand.New(mrand.NewPCG(bed.Options.Seed, 12))
-	room := make(chan struct{}, maxOpenTransactions)
+	open := make(chan struct{}, maxOpenTransactions)
 	next := time.Now()
 	for id := 0; fake.Sleep(ctx, time.Until(next)); id++ {
-		bed.mu.Lock()
-		rate, again := bed.rate, bed.extraReturn && bed.rate > bed.Rate && rng.Float64() > bed.Rate/bed.rate
-		bed.mu.Unlock()
+		rate, returning := bed.drawClient(rng)
 		next = next.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		node, addr := bed.Nodes.Pick(rng)
 		select {
-		case room <- struct{}{}:
+		case open <- struct{}{}:
 		default:
 			bed.AddMetric("not_sent_for_want_of_room", 1)
 			continue
 		}
 		wg.Go(func() {
-			defer func() { <-room }()
-			bed.runTransaction(ctx, id, node, addr, again)
+			defer func() { <-open }()
+			bed.runTransaction(ctx, id, node, addr, returning)
 		})
 	}
 }
 
-// transact is one client: it is owed one final answer in time, and stays for a moment.
-func (bed *Testbed) runTransaction(ctx context.Context, id int, node, addr string, again bool) {
-	begun := time.Now()
-	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return // a node that has just fallen
+// drawClient returns the rate now, and whether the next client is one that comes again.
+func (bed *Testbed) drawClient(rng *mrand.Rand) (rate float64, returning bool) {
+	bed.mu.Lock()
+	defer bed.mu.Unlock()
+	returning = bed.extraReturn && bed.rate > bed.Rate && rng.Float64() > bed.Rate/bed.rate
+	return bed.rate, returning
+}
+
+// runTransaction is one client: it has to get one final answer in time, and stays for a moment.
+func (bed *Testbed) runTransaction(ctx context.Context, id int, node, addr string, returning bool) {
+	line := fmt.Sprintf("OPEN %016x k%x c=feed,d=%d", id+1, id, Patience.Milliseconds())
+	if returning {
+		line += ",again=1"
 	}
-	defer func() { _ = conn.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	more := ""
-	if again {
-		more = ",again=1"
+	startedAt := time.Now()
+	session, err := OpenSession(ctx, addr, line)
+	if err == nil {
+		defer session.Close()
 	}
-	_ = conn.SetDeadline(begun.Add(Patience + 500*time.Millisecond))
-	fmt.Fprintf(conn, "OPEN %016x k%x c=feed,d=%d%s\r\n", id+1, id, Patience.Milliseconds(), more)
-	text, err := bufio.NewReader(conn).ReadString('\n')
-	took := time.Since(begun)
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil || errors.Is(err, ErrUnreachable):
 		return
-	}
-	if err != nil {
-		if !bed.Nodes.Gone(node, begun) {
+	case err != nil:
+		if !bed.Nodes.Gone(node, startedAt) {
 			bed.AddViolation("answer", fmt.Sprintf("k%x at %s got no final answer: %v", id, node, err))
 		}
 		return
 	}
-	word, _, _ := strings.Cut(strings.TrimSpace(text), " ")
 	bed.mu.Lock()
-	bed.answers = append(bed.answers, ClientAnswer{node, bed.zones[node], word, begun, took})
+	bed.answers = append(bed.answers, ClientAnswer{
+		Node:      node,
+		Zone:      bed.zones[node],
+		Reply:     session.Reply,
+		StartedAt: session.StartedAt,
+		Took:      session.Took,
+	})
 	bed.mu.Unlock()
-	bed.AddMetric(strings.ToLower(word), 1)
-	if took > Patience+SocketDelay {
-		bed.AddViolation("answer", fmt.Sprintf("k%x at %s was answered after %v", id, node, took))
+	bed.AddMetric(strings.ToLower(session.Reply), 1)
+	if session.Took > Patience+SocketDelay {
+		bed.AddViolation("answer", fmt.Sprintf("k%x at %s was answered after %v", id, node, session.Took))
 	}
-	if word == "UP" {
+	if session.Reply == "UP" {
 		fake.Sleep(ctx, stayDuration)
 	}
 }
