--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -6,124 +6,114 @@
 	"net"
 	"os"
 	"path/filepath"
-	"time"
 
-	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/operatorconfig"
 )
 
-// Agent is a member: the process beside one node.
+// Agent is a member of the fleet: the process beside one node.
 type Agent struct {
 	*Process
 	Addr string // where it answers its node and operators
 }
 
-// Ask asks it as an operator does.
-func (a *Agent) Call(ask, into any) error { return agentapi.Call(a.Addr, ask, into) }
+// Call sends a request as an operator does and decodes the answer into a pointer.
+func (a *Agent) Call(request, answer any) error { return agentapi.Call(a.Addr, request, answer) }
 
-// agent returns the agent beside a node, which is not started yet.
-func (bed *Testbed) newAgent(n *Node, own *operatorconfig.File) *Agent {
-	p := &Process{Name: "agent " + n.Name, Binary: bed.Agent, Dir: n.Dir, Log: "agent.log",
-		Args: []string{"--config", filepath.Join(n.Dir, "operator.json")}, Env: []string{"CORALRELAY_SABOTAGE=" + bed.Mutation}}
+// newAgent returns the agent beside a node; it is not started yet.
+func (bed *Testbed) newAgent(node *Node, config *operatorconfig.File) *Agent {
+	process := &Process{
+		Name:   "agent " + node.Name,
+		Binary: bed.Agent,
+		Dir:    node.Dir,
+		Log:    "agent.log",
+		Args:   []string{"--config", filepath.Join(node.Dir, operatorConfigFile)},
+		Env:    []string{mutationVariable + "=" + bed.Mutation},
+	}
 	if bed.ClockOffset != nil {
-		p.Args = append(p.Args, "--clock-offset="+bed.ClockOffset(n.Name).String())
+		process.Args = append(process.Args, "--clock-offset="+bed.ClockOffset(node.Name).String())
 	}
-	return &Agent{Process: p, Addr: own.Fleet.Agent}
+	return &Agent{Process: process, Addr: config.Fleet.Agent}
 }
 
-// member writes what one member's file says, and opens its ways through the relay.
+// newMemberConfig returns what one member's file says, and opens its addresses at the proxy. The
+// first members are added to the voters.
 func (bed *Testbed) newMemberConfig(name string, number int) (operatorconfig.File, error) {
-	own := operatorconfig.Default()
-	own.Log.Level = "warn"
-	bind, at, err := bed.AddProxiedAddress(name, number+1)
+	config := operatorconfig.Default()
+	config.Log.Level = "warn"
+	bind, advertise, err := bed.AddProxiedAddress(name, number+1)
 	if err != nil || bed.WithoutAgents {
-		return own, err
+		return config, err
 	}
-	bed.gossipAddresses = append(bed.gossipAddresses, at)
-	own.Fleet = bed.Fleet
-	own.Fleet.Name, own.Fleet.Bind, own.Fleet.Advertise = name, bind, at
-	if own.Fleet.Agent, err = Reserve(); err != nil || bed.Voters == 0 {
-		return own, err
+	bed.gossipAddresses = append(bed.gossipAddresses, advertise)
+	config.Fleet = bed.Fleet
+	config.Fleet.Name = name
+	config.Fleet.Bind = bind
+	config.Fleet.Advertise = advertise
+	if config.Fleet.Agent, err = Reserve(); err != nil || bed.Voters == 0 {
+		return config, err
 	}
+	return config, bed.configureLog(&config, name, number)
+}
+
+// configureLog sets what a member's file says of the replicated log.
+func (bed *Testbed) configureLog(config *operatorconfig.File, name string, number int) error {
 	zone := bed.Zone(name)
-	if bind, at, err = bed.AddProxiedAddress(name, number+1); err != nil {
-		return own, err
+	bind, advertise, err := bed.AddProxiedAddress(name, number+1)
+	if err != nil {
+		return err
 	}
-	own.Fleet.Zone = zone
-	own.Fleet.ReplicatedLog.Dir, own.Fleet.ReplicatedLog.Bind, own.Fleet.ReplicatedLog.Advertise = filepath.Join(bed.Dir, name, "record"), bind, at
+	config.Fleet.Zone = zone
+	config.Fleet.ReplicatedLog.Dir = filepath.Join(bed.Dir, name, "record")
+	config.Fleet.ReplicatedLog.Bind = bind
+	config.Fleet.ReplicatedLog.Advertise = advertise
 	if number < bed.Voters {
-		bed.Fleet.ReplicatedLog.Voters = append(bed.Fleet.ReplicatedLog.Voters, operatorconfig.Voter{Name: name, Addr: at, Zone: zone})
+		voter := operatorconfig.Voter{Name: name, Addr: advertise, Zone: zone}
+		bed.Fleet.ReplicatedLog.Voters = append(bed.Fleet.ReplicatedLog.Voters, voter)
 	}
-	return own, os.MkdirAll(own.Fleet.ReplicatedLog.Dir, 0o700)
+	return os.MkdirAll(config.Fleet.ReplicatedLog.Dir, 0o700)
 }
 
-// Party opens a way through the relay for who speaks from a loopback address of its own: the
-// number says which, 1 to 250. It listens at bind and is reached at at.
-func (bed *Testbed) AddProxiedAddress(name string, number int) (bind, at string, err error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", number))
+// AddProxiedAddress opens an address at the proxy for a party that speaks from a loopback
+// address of its own, which the number tells: 1 to 250. The party listens at bind and is reached
+// at advertise.
+func (bed *Testbed) AddProxiedAddress(name string, number int) (bind, advertise string, err error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", number))
 	if err != nil {
 		return "", "", err
 	}
-	bind = l.Addr().String()
-	_ = l.Close()
-	at, err = bed.Proxy.Add(name, bind, fmt.Sprintf("127.0.6.%d", number))
-	return bind, at, err
+	bind = listener.Addr().String()
+	_ = listener.Close()
+	advertise, err = bed.Proxy.Add(name, bind, fmt.Sprintf("127.0.6.%d", number))
+	return bind, advertise, err
 }
 
-// Peers are the addresses at which members are reached.
+// Peers returns the addresses at which members reach one another's gossip.
 func (bed *Testbed) Peers() []string { return bed.gossipAddresses }
 
-// Fell kills a node with its agent, as a machine that is lost.
+// KillMachine kills a node with its agent, as on a machine that is lost.
 func (bed *Testbed) KillMachine(name string) {
-	for _, n := range bed.Nodes {
-		if n.Name == name {
-			n.Kill()
+	for _, node := range bed.Nodes {
+		if node.Name == name {
+			node.Kill()
 		}
 	}
-	if a := bed.Agents[name]; a != nil {
-		a.Kill()
+	if agent := bed.Agents[name]; agent != nil {
+		agent.Kill()
 	}
 }
 
-// Rise starts a node with its agent again.
+// RestartMachine starts an agent and its node again.
 func (bed *Testbed) RestartMachine(ctx context.Context, name string) error {
-	if a := bed.Agents[name]; a != nil {
-		if err := a.Start(); err != nil {
+	if agent := bed.Agents[name]; agent != nil {
+		if err := agent.Start(); err != nil {
 			return err
 		}
 	}
-	for _, n := range bed.Nodes {
-		if n.Name == name {
-			return n.Start(ctx)
+	for _, node := range bed.Nodes {
+		if node.Name == name {
+			return node.Start(ctx)
 		}
 	}
 	return nil
 }
-
-// looking is how often a scene looks whether what it waits for has come.
-const pollInterval = 20 * time.Millisecond
-
-// Await looks until something is so, or until it is late; it tells how long that took and
-// whether it came.
-func Await(ctx context.Context, within time.Duration, so func() bool) (took time.Duration, came bool) {
-	begun := time.Now()
-	for {
-		if so() {
-			return time.Since(begun), true
-		}
-		if took = time.Since(begun); took > within || !fake.Sleep(ctx, pollInterval) {
-			return took, false
-		}
-	}
-}
-
-// WhenIndex calls do as soon as an agent has an entry of the record that is at index or
-// later: index reads what it has. It is false where that takes too long.
-func AfterIndex(ctx context.Context, index func() uint64, at uint64, within time.Duration, do func()) bool {
-	_, came := Await(ctx, within, func() bool { return index() >= at })
-	if came {
-		do()
-	}
-	return came
-}
--- a/internal/scenario/testbed/budget.go
+++ b/internal/scenario/testbed/budget.go
@@ -2,53 +2,57 @@
 
 import "time"
 
-// Chance is what a window may be over its budget: starts and ends of tokens are seen on two
-// clocks' schedules, and a send counts when it arrives.
+// ChanceAllowance is the multiple of its budget that a window may have: starts and ends of
+// tokens are seen on two clocks' schedules, and a session counts when it arrives.
 const ChanceAllowance = 1.1
 
-// budget is how many connections a server may be sent within a window, so long after its
+// windowBudget returns how many sessions a server may be sent within a window, so long after its
 // start. A warm one can take what fills it: its usual share makes the usual load.
 func (bed *Testbed) windowBudget(age time.Duration) float64 {
-	return budgetMultiple * bed.warmShare(age) * bed.Rate / float64(bed.Options.Servers) / UsualLoad * bed.BudgetWindow.Seconds()
+	usualRate := bed.Rate / float64(bed.Options.Servers)
+	return budgetMultiple * bed.warmShare(age) * usualRate / UsualLoad * bed.BudgetWindow.Seconds()
 }
 
-// Against returns the most that a server that began cold was sent in any window, as a
-// multiple of what it may be sent, and its mean over the time.
-func (bed *Testbed) BudgetUse(server string, started, until time.Time) (most, mean float64) {
-	var at []time.Time
-	for _, l := range bed.FirstLines(started, until) {
-		if l.Server == server {
-			at = append(at, l.At)
+// BudgetUse returns the most that a server that began cold was sent in any window of its ramp,
+// as a multiple of its budget, and the mean over the time.
+func (bed *Testbed) BudgetUse(server string, started, until time.Time) (peak, mean float64) {
+	var arrivals []time.Time
+	for _, line := range bed.FirstLines(started, until) {
+		if line.Server == server {
+			arrivals = append(arrivals, line.At)
 		}
 	}
-	first := 0
-	for i, t := range at {
-		if t.Sub(started) > bed.Ramp {
+	first := 0 // of the window that ends with an arrival
+	for i, arrival := range arrivals {
+		age := arrival.Sub(started)
+		if age > bed.Ramp {
 			break
 		}
-		for t.Sub(at[first]) > bed.BudgetWindow {
+		for arrival.Sub(arrivals[first]) > bed.BudgetWindow {
 			first++
 		}
-		most = max(most, float64(i-first+1)/bed.windowBudget(t.Sub(started)))
+		peak = max(peak, float64(i-first+1)/bed.windowBudget(age))
 	}
 	if span := until.Sub(started); span > 0 {
-		mean = float64(len(at)) / (span.Seconds() / bed.BudgetWindow.Seconds()) / bed.windowBudget(span/2)
+		windows := span.Seconds() / bed.BudgetWindow.Seconds()
+		mean = float64(len(arrivals)) / windows / bed.windowBudget(span/2)
 	}
-	return most, mean
+	return peak, mean
 }
 
-// Dealt returns the most that a cold server was sent within one epoch, as a multiple of what
-// its members' parts come to: half of its budget, and a token of the fraction.
-func (bed *Testbed) EpochBudgetUse(server string, started time.Time) (most float64) {
-	count := map[int64]float64{}
-	for _, l := range bed.FirstLines(started, started.Add(bed.Ramp)) {
-		if l.Server == server {
-			count[l.At.UnixNano()/int64(bed.BudgetWindow)]++
+// EpochBudgetUse returns the most that a cold server was sent within one epoch, as a multiple of
+// what its members' quotas come to: half of its budget, and a token of the fraction.
+func (bed *Testbed) EpochBudgetUse(server string, started time.Time) (peak float64) {
+	window := int64(bed.BudgetWindow)
+	count := map[int64]float64{} // by epoch
+	for _, line := range bed.FirstLines(started, started.Add(bed.Ramp)) {
+		if line.Server == server {
+			count[line.At.UnixNano()/window]++
 		}
 	}
-	for epoch, n := range count {
-		end := time.Unix(0, (epoch+1)*int64(bed.BudgetWindow)).Sub(started)
-		most = max(most, n/(bed.windowBudget(end)/2+1))
+	for epoch, sent := range count {
+		age := time.Unix(0, (epoch+1)*window).Sub(started) // at the epoch's end
+		peak = max(peak, sent/(bed.windowBudget(age)/2+1))
 	}
-	return most
+	return peak
 }
--- a/internal/scenario/testbed/drain.go
+++ b/internal/scenario/testbed/drain.go
@@ -11,32 +11,33 @@
 const (
 	// DrainGrace is how long after it was told of a drain a node may send something new.
 	DrainGrace = 300 * time.Millisecond
-	// OnSockets is by how much the rules' times are longer there.
+	// SocketDelay is by how much the rules' times are longer on sockets.
 	SocketDelay = 50 * time.Millisecond
-	// Patience is a client's, for its final answer.
+	// Patience is how long a client waits for its final answer.
 	Patience = 1800 * time.Millisecond
 )
 
-// HoldDrain holds what a server got to the drain rule: nothing new later than the
+// CheckDrain holds what a server got from a node to the drain rule: nothing new later than the
 // grace after that node was told.
-func (r *Result) CheckDrain(roster *fake.Discovery, node, server, what string, at time.Time) {
-	told := roster.NotifiedAt(node, server)
-	if late := at.Sub(told); !told.IsZero() && late > DrainGrace+SocketDelay {
+func (r *Result) CheckDrain(discovery *fake.Discovery, node, server, what string, at time.Time) {
+	notifiedAt := discovery.NotifiedAt(node, server)
+	if late := at.Sub(notifiedAt); !notifiedAt.IsZero() && late > DrainGrace+SocketDelay {
 		r.AddViolation("drain", fmt.Sprintf("%s got %s from %s %v after the node was told", server, what, node, late))
 	}
 }
 
-// Fall ends a server as a killed one ends. The roster notices a while later; later
-// still it is back at its address, cold and with a numbering of its own.
-func (r *Result) BounceServer(ctx context.Context, roster *fake.Discovery, v *fake.Server, nodes []string, noticed, back time.Duration) {
-	v.Kill()
-	fake.Sleep(ctx, noticed)
-	roster.Set(v.Name, fake.Left, time.Time{}, nil)
-	fake.Sleep(ctx, back)
-	addrs, err := v.Start(nodes)
+// BounceServer ends a server as a killed one ends. Discovery notices after noticeDelay; after
+// restartDelay more the server is back at its address, cold and with a new epoch.
+func (r *Result) BounceServer(ctx context.Context, discovery *fake.Discovery, server *fake.Server, nodes []string,
+	noticeDelay, restartDelay time.Duration) {
+	server.Kill()
+	fake.Sleep(ctx, noticeDelay)
+	discovery.Set(server.Name, fake.Left, time.Time{}, nil)
+	fake.Sleep(ctx, restartDelay)
+	addrs, err := server.Start(nodes)
 	if err != nil {
 		r.AddViolation("restart", err.Error())
 		return
 	}
-	roster.Set(v.Name, fake.Active, time.Now(), addrs)
+	discovery.Set(server.Name, fake.Active, time.Now(), addrs)
 }
--- a/internal/scenario/testbed/nodes.go
+++ b/internal/scenario/testbed/nodes.go
@@ -5,38 +5,45 @@
 	"time"
 )
 
-// Nodes is the front: it sends clients to those that are there.
+// Nodes is what clients choose from: the front of the platform, which sends them to nodes that
+// run.
 type Nodes []*Node
 
-// Pick names one of them.
-func (ns Nodes) Pick(rng *rand.Rand) (node, addr string) {
+// Pick draws a node, and goes on to the next that runs.
+func (ns Nodes) Pick(rng *rand.Rand) (name, addr string) {
 	now := time.Now()
-	for at, tried := rng.IntN(len(ns)), 0; ; at, tried = (at+1)%len(ns), tried+1 {
-		n := ns[at]
-		n.mu.Lock()
-		there := n.goneSince.IsZero() || now.Before(n.goneSince)
-		n.mu.Unlock()
-		if there || tried > len(ns) {
-			return n.Name, n.Addr
+	index := rng.IntN(len(ns))
+	for tried := 0; ; tried++ {
+		node := ns[index]
+		if node.runsAt(now) || tried > len(ns) {
+			return node.Name, node.Addr
 		}
+		index = (index + 1) % len(ns)
 	}
 }
 
-// Gone tells whether a node was killed or told to end since a time.
-func (ns Nodes) Gone(node string, since time.Time) bool {
-	for _, n := range ns {
-		if n.Name == node {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			return !n.goneSince.IsZero() || n.stoppedAt.After(since)
+// runsAt reports whether clients go to the node at a time.
+func (n *Node) runsAt(at time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.goneSince.IsZero() || at.Before(n.goneSince)
+}
+
+// Gone reports whether a node is killed or told to end, or was since a time.
+func (ns Nodes) Gone(name string, since time.Time) bool {
+	for _, node := range ns {
+		if node.Name == name {
+			node.mu.Lock()
+			defer node.mu.Unlock()
+			return !node.goneSince.IsZero() || node.stoppedAt.After(since)
 		}
 	}
 	return false
 }
 
-// End ends all.
+// KillAll ends all outright.
 func (ns Nodes) KillAll() {
-	for _, n := range ns {
-		n.Kill()
+	for _, node := range ns {
+		node.Kill()
 	}
 }
--- a/internal/scenario/testbed/observed.go
+++ b/internal/scenario/testbed/observed.go
@@ -8,97 +8,105 @@
 	"coralrelay/internal/fake"
 )
 
-// Line is a first line as a feed server saw it.
+// FirstLine is the first line of a session as a fake server saw it.
 type FirstLine struct {
 	Server, Zone, Node, Key string
 	At                      time.Time
 }
 
-// Answer is a final answer as a client saw it.
+// ClientAnswer is a final answer as a client saw it.
 type ClientAnswer struct {
 	Node, Zone, Reply string
 	StartedAt         time.Time
 	Took              time.Duration
 }
 
-// Opened is told of each first line.
-func (bed *Testbed) Opened(o fake.Opened) {
+// Opened is called by a server for each first line; it returns when the server may answer.
+func (bed *Testbed) Opened(opened fake.Opened) {
 	if bed.AnswerDelay != nil {
-		defer func() { time.Sleep(bed.AnswerDelay(o.Server)) }()
+		defer func() { time.Sleep(bed.AnswerDelay(opened.Server)) }()
 	}
-	bed.CheckDrain(bed.Discovery, o.Node, o.Server, o.Key, o.At)
+	bed.CheckDrain(bed.Discovery, opened.Node, opened.Server, opened.Key, opened.At)
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
-	bed.firstLines = append(bed.firstLines, FirstLine{o.Server, bed.zones[o.Server], o.Node, o.Key, o.At})
+	bed.firstLines = append(bed.firstLines, FirstLine{
+		Server: opened.Server,
+		Zone:   bed.zones[opened.Server],
+		Node:   opened.Node,
+		Key:    opened.Key,
+		At:     opened.At,
+	})
 }
 
-// Started is told of streams, which no client of a world asks for.
+// Started is called for streams, which no client of a testbed asks for.
 func (bed *Testbed) Started(fake.Started) {}
 
-// Lines are those that came between two times.
+// FirstLines returns those that came between two times, in order.
 func (bed *Testbed) FirstLines(from, until time.Time) (list []FirstLine) {
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
-	for _, l := range slices.Backward(bed.firstLines) {
-		// They stand nearly in order: each is noted within a moment of its time.
-		if l.At.Before(from.Add(-time.Second)) {
+	for _, line := range slices.Backward(bed.firstLines) {
+		// They are nearly in order: each is noted within a moment of its time.
+		if line.At.Before(from.Add(-time.Second)) {
 			break
 		}
-		if !l.At.Before(from) && l.At.Before(until) {
-			list = append(list, l)
+		if !line.At.Before(from) && line.At.Before(until) {
+			list = append(list, line)
 		}
 	}
 	slices.SortStableFunc(list, func(a, b FirstLine) int { return a.At.Compare(b.At) })
 	return list
 }
 
-// Into are those of Lines that went into a zone.
+// FirstLinesInto returns those of FirstLines that went into a zone.
 func (bed *Testbed) FirstLinesInto(zone string, from, until time.Time) []FirstLine {
-	return slices.DeleteFunc(bed.FirstLines(from, until), func(l FirstLine) bool { return l.Zone != zone })
+	return slices.DeleteFunc(bed.FirstLines(from, until), func(line FirstLine) bool { return line.Zone != zone })
 }
 
-// Shares is what each server got between two times, over the mean of all.
+// ServerShares returns what each server got between two times, over the mean of all.
 func (bed *Testbed) ServerShares(from, until time.Time) map[string]float64 {
-	share, list := map[string]float64{}, bed.FirstLines(from, until)
-	for _, l := range list {
-		share[l.Server]++
+	shares, lines := map[string]float64{}, bed.FirstLines(from, until)
+	for _, line := range lines {
+		shares[line.Server]++
 	}
-	for id := range share {
-		share[id] /= float64(len(list)) / float64(len(bed.AllServers()))
+	for server := range shares {
+		shares[server] /= float64(len(lines)) / float64(len(bed.AllServers()))
 	}
-	return share
+	return shares
 }
 
-// Served is the share of the transactions begun between two times that were served, and how
-// many there were.
+// ServedShare returns the share of the transactions begun between two times that were served, and
+// how many there were.
 func (bed *Testbed) ServedShare(from, until time.Time) (share float64, all int) {
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
 	up := 0
-	for _, a := range bed.answers {
-		if !a.StartedAt.Before(from) && a.StartedAt.Before(until) {
-			if all++; a.Reply == "UP" {
-				up++
-			}
+	for _, answer := range bed.answers {
+		if answer.StartedAt.Before(from) || !answer.StartedAt.Before(until) {
+			continue
+		}
+		all++
+		if answer.Reply == "UP" {
+			up++
 		}
 	}
 	return float64(up) / float64(max(all, 1)), all
 }
 
-// Retried holds all first lines of the scene to the budget of retries.
+// CheckRetryBudget holds all first lines of the run to the retry budget.
 func (bed *Testbed) CheckRetryBudget() {
 	bed.mu.Lock()
-	firsts := map[string]bool{}
-	for _, l := range bed.firstLines {
-		firsts[l.Key] = true
+	sessions := map[string]bool{} // by key
+	for _, line := range bed.firstLines {
+		sessions[line.Key] = true
 	}
 	all := float64(len(bed.firstLines))
 	bed.mu.Unlock()
-	share := (all - float64(len(firsts))) / float64(max(len(firsts), 1))
+	share := (all - float64(len(sessions))) / float64(max(len(sessions), 1))
 	bed.SetMetric("retries_per_first", share)
-	bed.SetMetric("transactions_sent", float64(len(firsts)))
-	if most := 2*bed.RetryRatio + 0.01; !bed.WithoutAgents && share > most {
-		bed.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, most))
+	bed.SetMetric("transactions_sent", float64(len(sessions)))
+	if limit := 2*bed.RetryRatio + 0.01; !bed.WithoutAgents && share > limit {
+		bed.AddViolation("retries", fmt.Sprintf("%.3f retries a first try, at most %.3f are allowed", share, limit))
 	}
 	bed.RequireAtLeast("transactions_sent", 300)
 }
--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -10,12 +10,27 @@
 	"time"
 )
 
-// Play has clients come at the rate, and plays steps one after another: the first in any
-// case, of the others those that are chosen, or all. Then every process must still run that
-// the scene has not ended.
-func (bed *Testbed) Play(ctx context.Context, steps []Phase, chosen []string) error {
+const (
+	// loadInterval is the time from one load report of all servers to the next.
+	loadInterval = 100 * time.Millisecond
+	// loadWindow is the time that a load report looks back.
+	loadWindow = 2 * time.Second
+	// leastLoad is the lowest load that a server reports.
+	leastLoad = 0.01
+)
+
+// Phase is a part of a scenario's script. All phases of a run draw from one generator.
+type Phase struct {
+	Name string
+	Run  func(ctx context.Context, rng *mrand.Rand) error
+}
+
+// Play has clients come at the rate, and runs phases one after another: the first in any case,
+// of the others those that are chosen, or all. Then every process must still run that the
+// scenario has not ended. Its goroutines have ended when it returns.
+func (bed *Testbed) Play(ctx context.Context, phases []Phase, chosen []string) error {
 	for _, name := range chosen {
-		if !slices.ContainsFunc(steps, func(s Phase) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(phases, func(phase Phase) bool { return phase.Name == name }) {
 			return fmt.Errorf("no step %q", name)
 		}
 	}
@@ -28,36 +43,41 @@
 		wg.Go(func() { bed.reportLoads(ctx) })
 	}
 	rng := mrand.New(mrand.NewPCG(bed.Options.Seed, 11))
-	for i, step := range steps {
-		if i > 0 && len(chosen) > 0 && !slices.Contains(chosen, step.Name) {
+	for i, phase := range phases {
+		if i > 0 && len(chosen) > 0 && !slices.Contains(chosen, phase.Name) {
 			continue
 		}
 		if bed.Progress != nil {
-			fmt.Fprintf(bed.Progress, "%5.1f s  %s\n", bed.Elapsed().Seconds(), step.Name)
+			_, _ = fmt.Fprintf(bed.Progress, "%5.1f s  %s\n", bed.Elapsed().Seconds(), phase.Name)
 		}
-		if err := step.Run(ctx, rng); err != nil || ctx.Err() != nil {
+		if err := phase.Run(ctx, rng); err != nil || ctx.Err() != nil {
 			return cmp.Or(err, ctx.Err())
 		}
 	}
-	for _, n := range bed.Nodes {
-		bed.checkAlive(n.Process)
-		if a := bed.Agents[n.Name]; a != nil {
-			bed.checkAlive(a.Process)
+	bed.checkProcesses()
+	return nil
+}
+
+// checkProcesses checks that no node or agent has ended by itself.
+func (bed *Testbed) checkProcesses() {
+	for _, node := range bed.Nodes {
+		bed.checkExit(node.Process)
+		if agent := bed.Agents[node.Name]; agent != nil {
+			bed.checkExit(agent.Process)
 		}
 	}
-	return nil
 }
 
-func (bed *Testbed) checkAlive(p *Process) {
-	if err := p.CheckExit(); err != nil {
+func (bed *Testbed) checkExit(process *Process) {
+	if err := process.CheckExit(); err != nil {
 		bed.AddViolation("crash", err.Error())
 	}
 }
 
-// report has servers tell the load that they are asked to bear, over the last two seconds.
+// reportLoads has servers report what they were asked over the last two seconds, over what they
+// can do, until ctx ends.
 func (bed *Testbed) reportLoads(ctx context.Context) {
-	const over = 2 * time.Second
-	tick := time.NewTicker(100 * time.Millisecond)
+	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -66,12 +86,13 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		asked := map[string]float64{}
-		for _, l := range bed.FirstLines(now.Add(-over), now) {
-			asked[l.Server]++
+		asked := map[string]float64{} // by server
+		for _, line := range bed.FirstLines(now.Add(-loadWindow), now) {
+			asked[line.Server]++
 		}
-		for _, v := range bed.AllServers() {
-			v.SetLoad(max(0.01, asked[v.Name]/over.Seconds()/bed.CapacityOf(v, now)))
+		for _, server := range bed.AllServers() {
+			rate := asked[server.Name] / loadWindow.Seconds()
+			server.SetLoad(max(leastLoad, rate/bed.CapacityOf(server, now)))
 		}
 	}
 }
--- a/internal/scenario/testbed/process.go
+++ b/internal/scenario/testbed/process.go
@@ -12,20 +12,27 @@
 	"golang.org/x/sys/unix"
 )
 
-// Proc is a program that a scene starts, as often as it likes, and does harm to. Its log is
-// a file in Dir; it reaches it through a pipe, so that a disk that is full for the program
-// takes none of it.
+// tailSize is how much of a log Tail returns, in bytes.
+const tailSize = 600
+
+// Process is a program that a scenario starts, as often as it likes, and injects faults into. Its
+// standard error goes to a log file by way of a pipe, so that nothing of it is lost while the
+// program may write no files. Each start has a goroutine, which ends with the program.
 type Process struct {
-	Name, Binary, Dir, Log string
-	Args, Env              []string // Env beside this process's own
+	Name   string // in errors
+	Binary string
+	Dir    string // of Log
+	Log    string // the log's file name
+	Args   []string
+	Env    []string // beside this process's own
 
 	mu             sync.Mutex
 	cmd            *exec.Cmd
-	done           chan struct{}
-	endedOnPurpose bool // it was ended by the scene
+	done           chan struct{} // closed when it has ended
+	endedOnPurpose bool          // it was killed by the scenario
 }
 
-// Start starts it.
+// Start starts the program; its log is appended to.
 func (p *Process) Start() error {
 	log, err := os.OpenFile(filepath.Join(p.Dir, p.Log), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -39,14 +46,18 @@
 		return fmt.Errorf("%s: %w", p.Name, err)
 	}
 	done := make(chan struct{})
-	go func() { _ = cmd.Wait(); _ = log.Close(); close(done) }()
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(done)
+	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cmd, p.done, p.endedOnPurpose = cmd, done, false
 	return nil
 }
 
-// Signal sends a signal, if it runs.
+// Signal sends a signal, if the program was started.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -55,7 +66,7 @@
 	}
 }
 
-// Kill ends it outright, stopped or not, and waits until it is gone.
+// Kill ends the program outright, paused or not, and waits until it has ended.
 func (p *Process) Kill() {
 	p.mu.Lock()
 	p.endedOnPurpose = true
@@ -67,14 +78,15 @@
 	}
 }
 
-// Stop holds it where it is, as a machine that has stalled: its sockets stay, and nothing
-// reads them. Cont lets it go on.
+// Pause stops the program where it is, like a machine that has stalled: its sockets stay open, and
+// nothing reads them. Resume lets it go on.
 func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
 
-// Cont lets it go on.
+// Resume lets a paused program go on.
 func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
 
-// Disk has every write of it to a file fail from now on, as on a full disk, or succeed again.
+// SetDiskFull has every write of the program to a file fail from now on, as on a full disk, or
+// succeed again.
 func (p *Process) SetDiskFull(full bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,14 +104,14 @@
 	return nil
 }
 
-// Done is closed when it ends; nil before it was started.
+// Done returns a channel that is closed when the program ends; nil before it was started.
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.done
 }
 
-// Pid is its process's number, 0 before it was started.
+// Pid returns the process number, 0 before the program was started.
 func (p *Process) Pid() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,7 +121,7 @@
 	return p.cmd.Process.Pid
 }
 
-// Sound is an error, with the end of its log, where it has ended by itself.
+// CheckExit returns an error, with the end of the log, if the program has ended by itself.
 func (p *Process) CheckExit() error {
 	p.mu.Lock()
 	done, meant := p.done, p.endedOnPurpose
@@ -125,8 +137,8 @@
 	}
 }
 
-// Tail is the end of its log.
+// Tail returns the end of the log.
 func (p *Process) Tail() string {
 	raw, _ := os.ReadFile(filepath.Join(p.Dir, p.Log)) // without one there is nothing to tell
-	return string(raw[max(0, len(raw)-600):])
+	return string(raw[max(0, len(raw)-tailSize):])
 }
--- a/internal/scenario/testbed/result.go
+++ b/internal/scenario/testbed/result.go
@@ -14,17 +14,17 @@
 	"time"
 )
 
-// ErrBroken is that a rule broke or a bound was missed.
+// ErrRulesBroken is returned by Finish if a rule broke or a bound was missed.
 var ErrRulesBroken = errors.New("rules broken")
 
 // Violation is one broken rule.
 type Violation struct {
 	Rule   string `json:"rule"`
-	AtMs   int64  `json:"at_ms"` // since the scene's start
+	AtMs   int64  `json:"at_ms"` // since the scenario's start
 	Detail string `json:"detail"`
 }
 
-// Result is what a scene found.
+// Result is what a scenario found. Its methods may be called by several goroutines.
 type Result struct {
 	Scenario   string             `json:"scene"`
 	Seed       uint64             `json:"seed"`
@@ -38,16 +38,22 @@
 	countByRule map[string]int
 }
 
-// most violations are kept of one rule; the others are counted.
+// maxViolationsPerRule is how many violations are kept of one rule; the others are counted.
 const maxViolationsPerRule = 20
 
-// NewResult starts a scene.
-func NewResult(scene string, seed uint64) *Result {
-	return &Result{Scenario: scene, Seed: seed, Violations: []Violation{}, Metrics: map[string]float64{},
-		startedAt: time.Now(), countByRule: map[string]int{}}
+// NewResult returns the empty result of a scenario that starts now.
+func NewResult(scenario string, seed uint64) *Result {
+	return &Result{
+		Scenario:    scenario,
+		Seed:        seed,
+		Violations:  []Violation{},
+		Metrics:     map[string]float64{},
+		startedAt:   time.Now(),
+		countByRule: map[string]int{},
+	}
 }
 
-// Broken notes that a rule broke.
+// AddViolation notes that a rule broke.
 func (r *Result) AddViolation(rule, detail string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,72 +62,50 @@
 	}
 }
 
-// Since is how long the scene has run.
+// Elapsed returns how long the scenario has run.
 func (r *Result) Elapsed() time.Duration { return time.Since(r.startedAt) }
 
-// Add adds to a figure.
-func (r *Result) AddMetric(figure string, x float64) {
+// AddMetric adds to a metric.
+func (r *Result) AddMetric(name string, value float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Metrics[figure] += x
+	r.Metrics[name] += value
 }
 
-// Set sets a figure.
-func (r *Result) SetMetric(figure string, x float64) {
+// SetMetric sets a metric.
+func (r *Result) SetMetric(name string, value float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.Metrics[figure] = x
+	r.Metrics[name] = value
 }
 
-// Get returns a figure.
-func (r *Result) Metric(figure string) float64 {
+// Metric returns a metric, 0 if it was never set.
+func (r *Result) Metric(name string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Metrics[figure]
+	return r.Metrics[name]
 }
 
-// Least holds a figure to a bound: a scene that provoked nothing proves nothing.
-func (r *Result) RequireAtLeast(figure string, bound float64) {
-	if x := r.Metric(figure); x < bound {
-		r.AddViolation("bound", fmt.Sprintf("%s is %g, at least %g is wanted", figure, x, bound))
+// RequireAtLeast notes a violation if a metric is below a bound: a scenario that provoked nothing
+// proves nothing.
+func (r *Result) RequireAtLeast(name string, bound float64) {
+	if value := r.Metric(name); value < bound {
+		r.AddViolation("bound", fmt.Sprintf("%s is %g, at least %g is wanted", name, value, bound))
 	}
 }
 
-// Finish prints the table, writes the JSON file if one is named, and returns
-// ErrBroken if a rule broke.
+// Finish prints the result, writes the JSON file if one is named, and returns ErrRulesBroken if a
+// rule broke.
 func (r *Result) Finish(w io.Writer, file string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.OK = len(r.Violations) == 0
-	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintf(t, "\n%s, seed %d\n", r.Scenario, r.Seed)
-	for _, name := range slices.Sorted(maps.Keys(r.Metrics)) {
-		fmt.Fprintf(t, "  %s\t%.6g\n", name, r.Metrics[name])
-	}
-	for _, rule := range slices.Sorted(maps.Keys(r.countByRule)) {
-		fmt.Fprintf(t, "  BROKEN %s\t%d times\n", rule, r.countByRule[rule])
-	}
 	slices.SortStableFunc(r.Violations, func(a, b Violation) int { return cmp.Compare(a.AtMs, b.AtMs) })
-	for _, v := range r.Violations[:min(len(r.Violations), maxViolationsPerRule)] {
-		fmt.Fprintf(t, "    %d ms  %s: %s\n", v.AtMs, v.Rule, v.Detail)
-	}
-	if r.ScaledDown != "" {
-		fmt.Fprintf(t, "  scaled: %s\n", r.ScaledDown)
-	}
-	verdict := "ok: all rules kept"
-	if !r.OK {
-		verdict = "BROKEN"
-	}
-	fmt.Fprintln(t, verdict)
-	if err := t.Flush(); err != nil {
+	if err := r.print(w); err != nil {
 		return err
 	}
 	if file != "" {
-		raw, err := json.MarshalIndent(r, "", "  ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(file, append(raw, '\n'), 0o644); err != nil {
+		if err := r.writeFile(file); err != nil {
 			return err
 		}
 	}
@@ -130,3 +114,40 @@
 	}
 	return nil
 }
+
+// print prints the metrics, the rules that broke with the first violations, and the verdict. The
+// lock is held.
+func (r *Result) print(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	printf := func(format string, args ...any) {
+		_, _ = fmt.Fprintf(table, format, args...) // Flush returns the error
+	}
+	printf("\n%s, seed %d\n", r.Scenario, r.Seed)
+	for _, name := range slices.Sorted(maps.Keys(r.Metrics)) {
+		printf("  %s\t%.6g\n", name, r.Metrics[name])
+	}
+	for _, rule := range slices.Sorted(maps.Keys(r.countByRule)) {
+		printf("  BROKEN %s\t%d times\n", rule, r.countByRule[rule])
+	}
+	for _, violation := range r.Violations[:min(len(r.Violations), maxViolationsPerRule)] {
+		printf("    %d ms  %s: %s\n", violation.AtMs, violation.Rule, violation.Detail)
+	}
+	if r.ScaledDown != "" {
+		printf("  scaled: %s\n", r.ScaledDown)
+	}
+	if r.OK {
+		printf("ok: all rules kept\n")
+	} else {
+		printf("BROKEN\n")
+	}
+	return table.Flush()
+}
+
+// writeFile writes the result as JSON. The lock is held.
+func (r *Result) writeFile(file string) error {
+	raw, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(raw, '\n'), 0o644)
+}
--- a/internal/scenario/testbed/testbed.go
+++ b/internal/scenario/testbed/testbed.go
@@ -1,6 +1,11 @@
-// Package world is what the scenes of the fleet share and none of them owns: nodes with
-// their agents and feed servers, each in a zone, the relay with faults between them, clients
-// at a rate, what the servers saw, and the checks that hold in every scene.
+// Package testbed is what scenarios share: real nodes and agents as processes, fake servers in
+// zones, a proxy with faults between them, clients at a rate, what the servers and clients saw,
+// and the checks that hold in every scenario. Scenarios of single nodes use its Node, Process and
+// Result alone.
+//
+// A Testbed owns its processes, fakes and folder until Close; Play owns the goroutines of its
+// clients. Errors say that a scenario could not run; what breaks a rule is a violation in the
+// Result.
 package testbed
 
 import (
@@ -9,7 +14,6 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	mrand "math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -20,112 +24,130 @@
 	"coralrelay/internal/scenario/faultproxy"
 )
 
-// Options size a world. Binary is the node's; Agent is its agent's, beside it if empty.
+// Options size a testbed.
 type Options struct {
 	Scenario       string
 	Seed           uint64
 	Nodes, Servers int
-	Zones          []string // nodes and servers are dealt to them in turn; empty for a alone
-	Voters         int      // the first so many agents decide what the record takes; 0 for no record
-	Rate           float64  // transactions a second in usual times
-	WithoutAgents  bool     // nodes have no agents
-	ProxyServers   bool     // nodes reach servers through the relay, too
-	ReportLoad     bool     // servers report what they are asked; else a usual load
-	Binary, Agent  string
-	Mutation       string // told to all processes
-	Progress       io.Writer
-
-	Ramp, BudgetWindow time.Duration // of the settings' guarantees: rampTime and tipAfter, in seconds
-	LeaseTimeout       time.Duration // fleet.hold
-	RetryRatio         float64       // fleet.retries
-	// Own completes what a member's file says, nil for nothing more.
-	OperatorConfig func(name string, f *operatorconfig.File)
-	// Clock is how far the clock of a member's agent is ahead, nil for not at all.
+	Zones          []string  // nodes and servers are spread over them in turn; empty for a alone
+	Voters         int       // of the replicated log: the first so many agents; 0 for no log
+	Rate           float64   // transactions a second in usual times
+	WithoutAgents  bool      // nodes have no agents
+	ProxyServers   bool      // nodes reach servers through the proxy, too
+	ReportLoad     bool      // servers report what they are asked; else a usual load
+	Binary         string    // the node's
+	Agent          string    // the agent's binary; empty for the one beside the node's
+	Mutation       string    // for all processes; empty for none
+	Progress       io.Writer // nil for none
+
+	Ramp         time.Duration // until a server is warm: the settings' rampTime, in whole seconds
+	BudgetWindow time.Duration // of a cold server: the settings' tipAfter
+	LeaseTimeout time.Duration // fleet.hold
+	RetryRatio   float64       // fleet.retries
+
+	// OperatorConfig completes what a member's file says, nil for nothing more.
+	OperatorConfig func(name string, config *operatorconfig.File)
+	// ClockOffset is how far the clock of a member's agent is ahead, nil for not at all.
 	ClockOffset func(name string) time.Duration
 }
 
 // What the settings of all nodes say, and how full servers are in usual times.
 const (
-	// ColdFrom is the part of what it can do warm that a server can do as it starts.
+	// SlowStartShare is the part of what it can do warm that a server can do as it starts.
 	SlowStartShare = 0.12
+	// budgetMultiple is how much more than what fills it a cold server may be sent in a window.
 	budgetMultiple = 3.0
 	// UsualLoad is of a warm server: its usual share of the usual rate makes it.
-	UsualLoad        = 0.3
-	reportedWarmLoad = 0.29 // reported: a little under the least usual load, so that a draw decides
+	UsualLoad = 0.3
+	// reportedWarmLoad is a little under the least usual load, so that a draw decides.
+	reportedWarmLoad = 0.29
+	reportedColdLoad = 0.05
 )
 
-// World is one run of a scene.
+// keySize is that of the fleet's key, in bytes.
+const keySize = 32
+
+// Testbed is one run of a scenario with a fleet.
 type Testbed struct {
 	Options
 	*Result
-	Dir         string
-	Discovery   *fake.Discovery
-	Proxy       *faultproxy.Proxy
-	Names       []string // of the nodes, and of their agents
-	Nodes       Nodes
-	Agents      map[string]*Agent
-	KeyFile     string                            // the fleet's key file
-	Fleet       operatorconfig.Fleet              // what all members have alike
-	AnswerDelay func(server string) time.Duration // until a first line is answered; nil for at once
-
-	gossipAddresses []string // where the relay takes members' messages
-	zones           map[string]string
+	Dir       string // of all files
+	Discovery *fake.Discovery
+	Proxy     *faultproxy.Proxy
+	Names     []string // of the nodes, and of their agents
+	Nodes     Nodes
+	Agents    map[string]*Agent    // by name
+	KeyFile   string               // the fleet's key
+	Fleet     operatorconfig.Fleet // what all members have alike
+	// AnswerDelay is how long a server waits before it answers a first line; nil for not at all.
+	AnswerDelay func(server string) time.Duration
+
+	gossipAddresses []string // where the proxy takes members' gossip
 
 	mu          sync.Mutex
+	zones       map[string]string // by node and server
 	servers     []*Server
 	firstLines  []FirstLine
 	answers     []ClientAnswer
 	rate        float64 // transactions a second now
-	extraReturn bool    // those beyond the usual rate come again
+	extraReturn bool    // clients beyond the usual rate come again
 }
 
-// New builds a world and starts all of it but its clients. End ends it; where New fails,
-// nothing is left.
-func New(ctx context.Context, o Options) (*Testbed, error) {
-	if len(o.Zones) == 0 {
-		o.Zones = []string{"a"}
+// New builds a testbed and starts all of it but its clients. Close ends it; if New fails, nothing
+// is left.
+func New(ctx context.Context, options Options) (*Testbed, error) {
+	if len(options.Zones) == 0 {
+		options.Zones = []string{defaultZone}
 	}
-	if o.Agent == "" {
-		o.Agent = SiblingBinary(o.Binary, "coralagent")
+	if options.Agent == "" {
+		options.Agent = SiblingBinary(options.Binary, "coralagent")
 	}
-	dir, err := os.MkdirTemp("", "coralscenario-")
+	dir, _, err := TempDir()
 	if err != nil {
 		return nil, err
 	}
-	w := &Testbed{Options: o, Result: NewResult(o.Scenario, o.Seed), Dir: dir, Discovery: fake.NewDiscovery(), Proxy: faultproxy.New(o.Seed),
-		Agents: map[string]*Agent{}, zones: map[string]string{}, rate: o.Rate}
-	if err := w.build(ctx); err != nil {
-		w.Close()
+	bed := &Testbed{
+		Options:   options,
+		Result:    NewResult(options.Scenario, options.Seed),
+		Dir:       dir,
+		Discovery: fake.NewDiscovery(),
+		Proxy:     faultproxy.New(options.Seed),
+		Agents:    map[string]*Agent{},
+		zones:     map[string]string{},
+		rate:      options.Rate,
+	}
+	if err := bed.start(ctx); err != nil {
+		bed.Close()
 		return nil, err
 	}
-	return w, nil
+	return bed, nil
 }
 
-// Beside is another program in the folder of one.
+// SiblingBinary returns the path of another program in the folder of a binary.
 func SiblingBinary(binary, name string) string { return filepath.Join(filepath.Dir(binary), name) }
 
-// End ends all processes and stand-ins.
+// Close ends all processes and fakes, and deletes the folder.
 func (bed *Testbed) Close() {
 	bed.Nodes.KillAll()
-	for _, a := range bed.Agents {
-		a.Kill()
+	for _, agent := range bed.Agents {
+		agent.Kill()
 	}
 	bed.Proxy.Close()
 	bed.Discovery.Close()
-	for _, v := range bed.AllServers() {
-		v.Kill()
+	for _, server := range bed.AllServers() {
+		server.Kill()
 	}
 	_ = os.RemoveAll(bed.Dir)
 }
 
-// Zone is where a node, an agent or a server stands.
+// Zone returns the zone of a node, an agent or a server.
 func (bed *Testbed) Zone(name string) string {
 	bed.mu.Lock()
 	defer bed.mu.Unlock()
 	return bed.zones[name]
 }
 
-// In names the nodes of a zone; there says whether those in it or all others.
+// NodesIn names the nodes in a zone, or, if there is false, all others.
 func (bed *Testbed) NodesIn(zone string, there bool) (names []string) {
 	for _, name := range bed.Names {
 		if (bed.Zone(name) == zone) == there {
@@ -135,33 +157,35 @@
 	return names
 }
 
-func (bed *Testbed) placeInZone(name string, number int) string {
+// placeInZone gives each node its zone in turn.
+func (bed *Testbed) placeInZone(name string, number int) {
 	zone := bed.Zones[number%len(bed.Zones)]
 	bed.mu.Lock()
 	bed.zones[name] = zone
 	bed.mu.Unlock()
 	bed.Proxy.SetZone(name, zone)
-	return zone
 }
 
-// build makes the parties and starts them.
-func (bed *Testbed) build(ctx context.Context) error {
+// start starts the servers, then each node with its agent.
+func (bed *Testbed) start(ctx context.Context) error {
 	if err := bed.writeKeyFile(); err != nil {
 		return err
 	}
 	bed.Fleet = operatorconfig.Default().Fleet
-	bed.Fleet.Key, bed.Fleet.Retries = bed.KeyFile, bed.RetryRatio
-	bed.Fleet.Hold, bed.Fleet.Epoch = operatorconfig.Duration{Duration: bed.LeaseTimeout}, operatorconfig.Duration{Duration: bed.BudgetWindow}
-	var own []operatorconfig.File
+	bed.Fleet.Key = bed.KeyFile
+	bed.Fleet.Retries = bed.RetryRatio
+	bed.Fleet.Hold.Duration = bed.LeaseTimeout
+	bed.Fleet.Epoch.Duration = bed.BudgetWindow
+	var configs []operatorconfig.File // by node
 	for i := range bed.Options.Nodes {
 		name := fmt.Sprintf("n%d", i)
 		bed.Names = append(bed.Names, name)
 		bed.placeInZone(name, i)
-		f, err := bed.newMemberConfig(name, i)
+		config, err := bed.newMemberConfig(name, i)
 		if err != nil {
 			return err
 		}
-		own = append(own, f)
+		configs = append(configs, config)
 	}
 	for i := range bed.Options.Servers {
 		if _, err := bed.Join(fmt.Sprintf("s%d", i), bed.Zones[i%len(bed.Zones)], false); err != nil {
@@ -169,53 +193,64 @@
 		}
 	}
 	for i, name := range bed.Names {
-		f := &own[i]
-		if !bed.WithoutAgents {
-			f.Fleet.Peers, f.Fleet.ReplicatedLog.Voters = bed.gossipAddresses, bed.Fleet.ReplicatedLog.Voters
-			if bed.OperatorConfig != nil {
-				bed.OperatorConfig(name, f)
-			}
-		}
-		if err := bed.startNode(ctx, name, i, f); err != nil {
+		bed.completeConfig(name, &configs[i])
+		if err := bed.startNode(ctx, name, i, &configs[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// completeConfig adds to a member's file what is known once all members have theirs.
+func (bed *Testbed) completeConfig(name string, config *operatorconfig.File) {
+	if bed.WithoutAgents {
+		return
+	}
+	config.Fleet.Peers = bed.gossipAddresses
+	config.Fleet.ReplicatedLog.Voters = bed.Fleet.ReplicatedLog.Voters
+	if bed.OperatorConfig != nil {
+		bed.OperatorConfig(name, config)
+	}
+}
+
+// writeKeyFile makes the fleet's key.
 func (bed *Testbed) writeKeyFile() error {
-	raw := make([]byte, 32)
-	if _, err := rand.Read(raw); err != nil {
+	key := make([]byte, keySize)
+	if _, err := rand.Read(key); err != nil {
 		return err
 	}
 	bed.KeyFile = filepath.Join(bed.Dir, "fleet.key")
-	return os.WriteFile(bed.KeyFile, []byte(hex.EncodeToString(raw)+"\n"), 0o600)
+	return os.WriteFile(bed.KeyFile, []byte(hex.EncodeToString(key)+"\n"), 0o600)
 }
 
-// start starts a node with its agent.
-func (bed *Testbed) startNode(ctx context.Context, name string, number int, own *operatorconfig.File) error {
+// startNode starts a node after its agent.
+func (bed *Testbed) startNode(ctx context.Context, name string, number int, config *operatorconfig.File) error {
 	discovery, err := bed.Discovery.Listen(name)
 	if err != nil {
 		return err
 	}
-	n, err := NewNode(NodeOptions{Binary: bed.Binary, Name: name, Dir: filepath.Join(bed.Dir, name), Discovery: discovery, Number: number,
-		Nodes: bed.Options.Nodes, OperatorConfig: own, Mutation: bed.Mutation, Ramp: int(bed.Ramp.Seconds()), Zone: bed.Zone(name)})
+	node, err := NewNode(NodeOptions{
+		Binary:         bed.Binary,
+		Name:           name,
+		Dir:            filepath.Join(bed.Dir, name),
+		Discovery:      discovery,
+		Number:         number,
+		Nodes:          bed.Options.Nodes,
+		OperatorConfig: config,
+		Mutation:       bed.Mutation,
+		Ramp:           int(bed.Ramp.Seconds()),
+		Zone:           bed.Zone(name),
+	})
 	if err != nil {
 		return err
 	}
 	if !bed.WithoutAgents {
-		a := bed.newAgent(n, own)
-		if err := a.Start(); err != nil {
+		agent := bed.newAgent(node, config)
+		if err := agent.Start(); err != nil {
 			return err
 		}
-		bed.Agents[name] = a
+		bed.Agents[name] = agent
 	}
-	bed.Nodes = append(bed.Nodes, n)
-	return n.Start(ctx)
-}
-
-// Step is a part of a scene's script.
-type Phase struct {
-	Name string
-	Run  func(ctx context.Context, rng *mrand.Rand) error
+	bed.Nodes = append(bed.Nodes, node)
+	return node.Start(ctx)
 }
