--- a/cmd/coralscenario/accounts.go
+++ b/cmd/coralscenario/accounts.go
@@ -22,7 +22,8 @@
 func (c *accountsCommand) Run(ctx context.Context, top *commands) error {
 	return c.runScenario(ctx, accounts.Mutations, func(ctx context.Context, progress io.Writer) (*testbed.Result, error) {
 		if !c.memberFlags.valid() || c.Nodes < c.Voters+2 || !between(c.Zones, 3, 6) || !between(c.Teams, 6, 36) {
-			return nil, errors.New("5 to 15 nodes, 3 or 5 voters and two nodes or more beside them, 3 to 6 zones and 6 to 36 teams are wanted")
+			return nil, errors.New("5 to 15 nodes, 3 or 5 voters and two nodes or more beside them, 3 to 6 zones " +
+				"and 6 to 36 teams are wanted")
 		}
 		return accounts.Play(ctx, accounts.Options{
 			Seed:     c.Seed,
--- a/cmd/coralscenario/fleet.go
+++ b/cmd/coralscenario/fleet.go
@@ -16,7 +16,7 @@
 	Servers       int      `default:"8" help:"Feed servers."`
 	Rate          float64  `default:"60" help:"Transactions a second in usual times."`
 	Steps         []string `help:"Play these alone, after members have met: cold, fall, lies, bad, full."`
-	WithoutAgents bool     `name:"alone" help:"Nodes have no agents: figures for comparison."`
+	WithoutAgents bool     `name:"alone" help:"Nodes have no agents: metrics for comparison."`
 }
 
 // Run is called by kong.
--- a/cmd/coralscenario/objectives.go
+++ b/cmd/coralscenario/objectives.go
@@ -24,7 +24,8 @@
 // Run is called by kong.
 func (c *objectivesCommand) Run(ctx context.Context, top *commands) error {
 	return c.runScenario(ctx, objectives.Mutations, func(ctx context.Context, progress io.Writer) (*testbed.Result, error) {
-		if !c.memberFlags.valid() || !between(c.Zones, 3, 5) || !between(c.Servers, 2*c.Zones, 30) || !between(c.Rate, 100, 1000) {
+		if !c.memberFlags.valid() || !between(c.Zones, 3, 5) || !between(c.Servers, 2*c.Zones, 30) ||
+			!between(c.Rate, 100, 1000) {
 			return nil, errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 5 zones, two servers or more in each, 30 at most, " +
 				"and a rate of 100 to 1000 are wanted")
 		}
--- a/cmd/coralscenario/zones.go
+++ b/cmd/coralscenario/zones.go
@@ -22,7 +22,8 @@
 // Run is called by kong.
 func (c *zonesCommand) Run(ctx context.Context, top *commands) error {
 	return c.runScenario(ctx, zones.Mutations, func(ctx context.Context, progress io.Writer) (*testbed.Result, error) {
-		if !c.memberFlags.valid() || !between(c.Zones, 3, 6) || !between(c.Servers, 2*c.Zones, 40) || !between(c.Rate, 60, 1000) {
+		if !c.memberFlags.valid() || !between(c.Zones, 3, 6) || !between(c.Servers, 2*c.Zones, 40) ||
+			!between(c.Rate, 60, 1000) {
 			return nil, errors.New("5 to 15 nodes, 3 or 5 voters, 3 to 6 zones, two servers or more in each, 40 at most, " +
 				"and a rate of 60 to 1000 are wanted")
 		}
--- a/internal/scenario/demo/demo.go
+++ b/internal/scenario/demo/demo.go
@@ -136,7 +136,8 @@
 
 // show prints each second how many connections each server has, and drains one half way.
 func (d *demo) show(ctx context.Context) {
-	d.printf("One node, %d feed servers, %d clients. Each mark is a connection at that server.\n", serverCount, clientCount)
+	d.printf("One node, %d feed servers, %d clients. Each mark is a connection at that server.\n",
+		serverCount, clientCount)
 	for second := 1; second <= d.Seconds && fake.Sleep(ctx, time.Second); second++ {
 		if second == d.Seconds/2 {
 			server := d.servers[drainingServer]
@@ -154,5 +155,7 @@
 		d.observer.Metric("UP"), d.observer.Metric("BUSY"), d.observer.Metric("moved"), d.node.ResidentMemory()/1e6)
 }
 
-// printf writes to the terminal; an error there has no one to be told.
-func (d *demo) printf(format string, args ...any) { _, _ = fmt.Fprintf(d.Out, format, args...) }
+// printf writes to the terminal; an error there has nobody to go to.
+func (d *demo) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.Out, format, args...)
+}
--- a/internal/scenario/fleet/fleet.go
+++ b/internal/scenario/fleet/fleet.go
@@ -97,7 +97,8 @@
 	}
 	defer bed.Close()
 	r := &run{options, bed}
-	r.ScaledDown = fmt.Sprintf("%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
+	r.ScaledDown = fmt.Sprintf(
+		"%d nodes in place of hundreds, all on one machine; a server is warm after %v; a partition of %v",
 		options.Nodes, rampTime, partitionDuration)
 	if err := r.Play(ctx, r.phases(), options.Steps); err != nil {
 		return nil, err
--- a/internal/scenario/fleet/lies.go
+++ b/internal/scenario/fleet/lies.go
@@ -64,12 +64,18 @@
 
 // startFalseMember has a member gossip false reports until ctx ends, without the key if it is
 // unencrypted.
-func (r *run) startFalseMember(ctx context.Context, wg *sync.WaitGroup, name string, number int, unencrypted bool) error {
+func (r *run) startFalseMember(ctx context.Context, wg *sync.WaitGroup, name string, number int,
+	unencrypted bool) error {
 	bind, advertise, err := r.AddProxiedAddress(name, number)
 	if err != nil {
 		return err
 	}
-	limits := quota.Config{Epoch: budgetWindow, LeaseTimeout: leaseTimeout, ReportTTL: 3 * time.Second, MaxOutlierFraction: 0.25}
+	limits := quota.Config{
+		Epoch:              budgetWindow,
+		LeaseTimeout:       leaseTimeout,
+		ReportTTL:          3 * time.Second,
+		MaxOutlierFraction: 0.25,
+	}
 	now := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	member := gossip.NewMember(name, limits, quota.Guards{}, now)
 	wg.Go(func() {
@@ -88,7 +94,8 @@
 		for fake.Sleep(ctx, falseReportInterval) {
 			var usage balance.QuotaUsage
 			for _, server := range accused {
-				usage.Servers = append(usage.Servers, balance.ServerUsage{ID: server, RecentAttempts: 50, RecentFailures: 50})
+				failing := balance.ServerUsage{ID: server, RecentAttempts: 50, RecentFailures: 50}
+				usage.Servers = append(usage.Servers, failing)
 			}
 			member.ReportQuotaUsage(usage)
 		}
--- a/internal/scenario/fleet/slowstart.go
+++ b/internal/scenario/fleet/slowstart.go
@@ -21,7 +21,12 @@
 )
 
 // lossyGossip is the fault between all members while a server is cold.
-var lossyGossip = faultproxy.Fault{Delay: 5 * time.Millisecond, Jitter: 40 * time.Millisecond, Drop: 0.1, Duplicate: 0.05}
+var lossyGossip = faultproxy.Fault{
+	Delay:     5 * time.Millisecond,
+	Jitter:    40 * time.Millisecond,
+	Drop:      0.1,
+	Duplicate: 0.05,
+}
 
 // coldServerUnderPartition starts a server in a surge of returning clients, with gossip that is
 // late and lossy, and cuts a third of the nodes off meanwhile.
--- a/internal/scenario/objectives/checks.go
+++ b/internal/scenario/objectives/checks.go
@@ -90,7 +90,8 @@
 	}
 	r.SetMetric(r.metricName("back"), returned/max(all, 1))
 	if returned < minReturnedShare*all || all == 0 {
-		r.reportViolation("back", "%.0f of %.0f first lines of those who had left went to the region that is well again", returned, all)
+		r.reportViolation("back", "%.0f of %.0f first lines of those who had left went to the region that is well again",
+			returned, all)
 	}
 }
 
@@ -100,7 +101,8 @@
 		share, count := r.shareIntoZone(t.Name, r.secondSlowZone, time.Now().Add(-settledPeriod), time.Now())
 		r.SetMetric(r.metricName(t.Name+"_in_slow"), share)
 		if t.Name == gold && share > maxExploredShare {
-			r.reportViolation("explore", "%.3f of %d of %s's first lines went to the slow region once it had left", share, count, t.Name)
+			r.reportViolation("explore", "%.3f of %d of %s's first lines went to the slow region once it had left",
+				share, count, t.Name)
 		}
 	}
 }
--- a/internal/scenario/objectives/contracts.go
+++ b/internal/scenario/objectives/contracts.go
@@ -45,7 +45,8 @@
 func (t *tenant) boundAtClient() time.Duration { return t.Objective + clientOverhead }
 
 // newTenant returns a tenant; its contract is for all zones if none are named.
-func newTenant(name string, priority int, trafficShare, target float64, objective time.Duration, zones ...string) tenant {
+func newTenant(name string, priority int, trafficShare, target float64, objective time.Duration,
+	zones ...string) tenant {
 	return tenant{
 		Contract: slo.Contract{
 			Name:      name,
--- a/internal/scenario/objectives/objectives.go
+++ b/internal/scenario/objectives/objectives.go
@@ -35,7 +35,7 @@
 	"confidence":     "a few samples are a verdict",
 	"hysteresis":     "no patience, no margin, and no budget asked",
 	"explore":        "exploring has no bound",
-	"limits":         "promises go before what a region bears",
+	"limits":         "objectives go before what a region can do",
 	"stale-evidence": "what was measured counts for ever",
 }
 
--- a/internal/scenario/resume/faults.go
+++ b/internal/scenario/resume/faults.go
@@ -31,7 +31,8 @@
 }
 
 // startFault starts a fault of a kind unless its targets are reserved; it reports whether it did.
-func (r *run) startFault(ctx context.Context, wg *sync.WaitGroup, kind int, server *fake.Server, node *testbed.Node) bool {
+func (r *run) startFault(ctx context.Context, wg *sync.WaitGroup, kind int, server *fake.Server,
+	node *testbed.Node) bool {
 	switch {
 	case kind < 4:
 		goodbyeAfter := time.Duration(0)
@@ -63,7 +64,8 @@
 	return true
 }
 
-func (r *run) startDrain(ctx context.Context, wg *sync.WaitGroup, server *fake.Server, goodbyeAfter time.Duration) bool {
+func (r *run) startDrain(ctx context.Context, wg *sync.WaitGroup, server *fake.Server,
+	goodbyeAfter time.Duration) bool {
 	if !r.reserve("drained", 1200*time.Millisecond) || !r.reserve(server.Name, 6*time.Second) {
 		return false
 	}
@@ -117,7 +119,8 @@
 }
 
 // startNodeCrash has a server drain, and kills a node while its clients come back.
-func (r *run) startNodeCrash(ctx context.Context, wg *sync.WaitGroup, server *fake.Server, node *testbed.Node) bool {
+func (r *run) startNodeCrash(ctx context.Context, wg *sync.WaitGroup, server *fake.Server,
+	node *testbed.Node) bool {
 	if !r.reserve("node", 3*time.Second) || !r.reserve(server.Name, 6*time.Second) {
 		return false
 	}
--- a/internal/scenario/resume/metrics.go
+++ b/internal/scenario/resume/metrics.go
@@ -27,13 +27,16 @@
 	r.SetMetric("gap ms p99", quantileMs(r.deliveryGaps, 99))
 	for presented, name := range map[bool]string{true: "with a token", false: "without"} {
 		for _, quantile := range []float64{50, 99} {
-			r.SetMetric(fmt.Sprintf("set-up ms p%g %s", quantile, name), quantileMs(r.setupTimes[presented], quantile))
-			r.SetMetric(fmt.Sprintf("stream begins ms p%g %s", quantile, name), quantileMs(r.streamStartTimes[presented], quantile))
+			setup := quantileMs(r.setupTimes[presented], quantile)
+			r.SetMetric(fmt.Sprintf("set-up ms p%g %s", quantile, name), setup)
+			streamStart := quantileMs(r.streamStartTimes[presented], quantile)
+			r.SetMetric(fmt.Sprintf("stream begins ms p%g %s", quantile, name), streamStart)
 		}
 	}
 	r.SetMetric("bytes of resumptions against snapshots",
 		r.Metric("bytes of resumptions")/max(1, r.Metric("bytes of snapshots in their place")))
-	presentations := r.Metric("presented again") + r.Metric("stolen") + r.Metric("spoiled") + r.Metric("presentations served")
+	presentations := r.Metric("presented again") + r.Metric("stolen") + r.Metric("spoiled") +
+		r.Metric("presentations served")
 	r.SetMetric("refused tokens", presentations-r.Metric("resumed"))
 
 	for _, metric := range []string{"drains", "presented again", "stolen", "spoiled", "snapshots", "resumed"} {
--- a/internal/scenario/resume/observer.go
+++ b/internal/scenario/resume/observer.go
@@ -34,10 +34,12 @@
 	owner := r.ownerByNonce[stream.Nonce]
 	r.mu.Unlock()
 	if reused {
-		r.AddViolation("token-once", fmt.Sprintf("%s honoured at %s and at %s by %s", stream.Nonce, firstServer, stream.Server, stream.Node))
+		r.AddViolation("token-once", fmt.Sprintf("%s honoured at %s and at %s by %s",
+			stream.Nonce, firstServer, stream.Server, stream.Node))
 	}
 	if owner != stream.Key {
-		r.AddViolation("token-owner", fmt.Sprintf("%s given to %q, honoured for %s at %s", stream.Nonce, owner, stream.Key, stream.Node))
+		r.AddViolation("token-owner", fmt.Sprintf("%s given to %q, honoured for %s at %s",
+			stream.Nonce, owner, stream.Key, stream.Node))
 	}
 }
 
--- a/internal/scenario/resume/play.go
+++ b/internal/scenario/resume/play.go
@@ -21,9 +21,9 @@
 	arrivals = 3 * time.Second
 	// faultInterval is the time from one fault to the next.
 	faultInterval = time.Second
-	// timePerMove and timeBeside bound how long the run may take to see its moves.
+	// timePerMove and extraTime bound how long the run may take to see its moves.
 	timePerMove = 250 * time.Millisecond
-	timeBeside  = 30 * time.Second
+	extraTime   = 30 * time.Second
 	// healing is how long all faults take to heal.
 	healing = 4 * time.Second
 )
@@ -82,7 +82,7 @@
 // moveClients injects faults until there were enough moves; half way it rotates the key.
 func (r *run) moveClients(ctx context.Context, wg *sync.WaitGroup) error {
 	rotated := false
-	deadline := time.Now().Add(time.Duration(r.Moves)*timePerMove + timeBeside)
+	deadline := time.Now().Add(time.Duration(r.Moves)*timePerMove + extraTime)
 	for r.Metric("moves") < float64(r.Moves) {
 		if time.Now().After(deadline) {
 			r.AddViolation("bound", fmt.Sprintf("%g of %d moves came about in time", r.Metric("moves"), r.Moves))
--- a/internal/scenario/resume/resume.go
+++ b/internal/scenario/resume/resume.go
@@ -101,7 +101,8 @@
 
 func newRun(options Options) *run {
 	result := testbed.NewResult("resume", options.Seed)
-	result.ScaledDown = fmt.Sprintf("all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
+	result.ScaledDown = fmt.Sprintf(
+		"all parties on one machine; warm-up 2 s in place of up to 23 s; listings change %d times a second",
 		int(time.Second/changeInterval))
 	return &run{
 		Options:          options,
--- a/internal/scenario/testbed/standalone.go
+++ b/internal/scenario/testbed/standalone.go
@@ -19,10 +19,10 @@
 
 // StartWarmServer starts a fake server for the named nodes and lists it as one that has been
 // running for long. It returns its address as each node reaches it.
-func StartWarmServer(discovery *fake.Discovery, options fake.ServerOptions, nodes []string) (*fake.Server, map[string]string, error) {
-	server := fake.NewServer(options)
-	addrs, err := server.Start(nodes)
-	if err != nil {
+func StartWarmServer(discovery *fake.Discovery, options fake.ServerOptions, nodes []string) (
+	server *fake.Server, addrs map[string]string, err error) {
+	server = fake.NewServer(options)
+	if addrs, err = server.Start(nodes); err != nil {
 		return nil, nil, err
 	}
 	discovery.Set(server.Name, fake.Active, time.Time{}, addrs)
--- a/internal/scenario/udp/counters.go
+++ b/internal/scenario/udp/counters.go
@@ -57,7 +57,8 @@
 		r.AddViolation("counts", fmt.Sprintf("%g in, %g forwarded, dropped or waiting", node["in"], out))
 	}
 	if forgotten := node["expired"] + node["evicted"] + node["refused"]; forgotten < minReclaimedShare*node["opened"] {
-		r.AddViolation("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent", node["opened"], forgotten))
+		r.AddViolation("reclaimed", fmt.Sprintf("%g flows were opened, %g forgotten, all being silent",
+			node["opened"], forgotten))
 	}
 	if !r.Flood {
 		r.checkShortFlows()
--- a/internal/scenario/udp/endpoints.go
+++ b/internal/scenario/udp/endpoints.go
@@ -102,7 +102,7 @@
 // sender sends for a share of the flows.
 type sender struct{ flows []*ipv4.PacketConn }
 
-// newSenders opens the sockets of all flows and deals them to count senders. They are closed
+// newSenders opens the sockets of all flows and spreads them over count senders. They are closed
 // with the context.
 func newSenders(ctx context.Context, to string, count int) ([]sender, error) {
 	senders := make([]sender, count)
--- a/internal/scenario/udp/measure.go
+++ b/internal/scenario/udp/measure.go
@@ -80,7 +80,8 @@
 }
 
 // startForwarder starts what is measured; stop ends it.
-func (m measurement) startForwarder(ctx context.Context, discovery *fake.Discovery, listen, to string) (stop func(), err error) {
+func (m measurement) startForwarder(ctx context.Context, discovery *fake.Discovery, listen, to string) (
+	stop func(), err error) {
 	if m.forwarder == bareLoop {
 		return m.startBareLoop(ctx, listen, to)
 	}
--- a/internal/scenario/udp/shortflows.go
+++ b/internal/scenario/udp/shortflows.go
@@ -70,7 +70,8 @@
 			return
 		}
 		name := fmt.Sprintf("f%d", number)
-		answered, strays := fake.ProbeFlow(ctx, r.config.Listen, name, uint32(number%clientAddresses), datagramsPerFlow, datagramInterval)
+		address := uint32(number % clientAddresses)
+		answered, strays := fake.ProbeFlow(ctx, r.config.Listen, name, address, datagramsPerFlow, datagramInterval)
 		r.AddMetric("answered", float64(answered))
 		r.AddMetric("sent", datagramsPerFlow)
 		for _, text := range strays {
--- a/internal/scenario/udp/speed.go
+++ b/internal/scenario/udp/speed.go
@@ -100,7 +100,8 @@
 				values.add(f.name+": against the bare loop", found.rate/max(1, bareRate))
 			}
 			if options.Progress != nil {
-				_, _ = fmt.Fprintf(options.Progress, "\rround %d of %d  %-24s %8.0f a second ", round+1, measurementRounds, f.name, found.rate)
+				_, _ = fmt.Fprintf(options.Progress, "\rround %d of %d  %-24s %8.0f a second ",
+					round+1, measurementRounds, f.name, found.rate)
 			}
 		}
 	}
--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -39,7 +39,7 @@
 var Mutations = map[string]string{
 	"drain":       "the node does not hear that a server drains",
 	"expiry":      "the node forgets no flow",
-	"silence":     "the node's flows stay with a next hop that has fallen silent",
+	"silence":     "the node's flows stay with an upstream that has fallen silent",
 	"source":      "the node does not bound new flows of one source",
 	mutationStale: "the node passes replies on to flows that are over, or stand elsewhere",
 }
@@ -90,7 +90,8 @@
 		disturbedAt: map[string]time.Time{},
 		hungSince:   map[string]time.Time{},
 	}
-	r.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s", concurrentFlows)
+	r.ScaledDown = fmt.Sprintf("all parties on one machine, %d flows at once; warm-up 2 s in place of up to 23 s",
+		concurrentFlows)
 	defer r.close()
 	if err := r.start(ctx, dir); err != nil {
 		return nil, err
