--- a/internal/scenario/testbed/play.go
+++ b/internal/scenario/testbed/play.go
@@ -5,19 +5,32 @@
 	"context"
 	"fmt"
 	mrand "math/rand/v2"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Play has clients come at the rate, and plays steps one after another: the first in any
-// case, of the others those that are chosen, or all. Then every process must still run that
-// the scene has not ended.
-func (w *Testbed) Play(ctx context.Context, steps []Phase, chosen []string) error {
+const (
+	// loadInterval is the time from one load report of all servers to the next.
+	loadInterval = 100 * time.Millisecond
+	// loadWindow is the time that a load report looks back.
+	loadWindow = 2 * time.Second
+	// leastLoad is the lowest load that a server reports.
+	leastLoad = 0.01
+)
+
+// Phase is a part of a scenario's script. All phases of a run draw from one generator.
+type Phase struct {
+	Name string
+	Run  func(ctx context.Context, rng *mrand.Rand) error
+}
+
+// Play has clients come at the rate, and runs phases one after another: the first in any case,
+// of the others those that are chosen, or all. Then every process must still run that the
+// scenario has not ended. Its goroutines have ended when it returns.
+func (bed *Testbed) Play(ctx context.Context, phases []Phase, chosen []string) error {
 	for _, name := range chosen {
-		if !slices.ContainsFunc(steps, func(s Phase) bool { return s.Name == name }) {
+		if !slices.ContainsFunc(phases, func(phase Phase) bool { return phase.Name == name }) {
 			return fmt.Errorf("no step %q", name)
 		}
 	}
@@ -25,41 +38,46 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	wg.Go(func() { w.load(ctx, &wg) })
-	if w.Loads {
-		wg.Go(func() { w.report(ctx) })
+	wg.Go(func() { bed.openTransactions(ctx, &wg) })
+	if bed.ReportLoad {
+		wg.Go(func() { bed.reportLoads(ctx) })
 	}
-	rng := mrand.New(mrand.NewPCG(w.Options.Seed, 11))
-	for i, step := range steps {
-		if i > 0 && len(chosen) > 0 && !slices.Contains(chosen, step.Name) {
+	rng := mrand.New(mrand.NewPCG(bed.Options.Seed, 11))
+	for i, phase := range phases {
+		if i > 0 && len(chosen) > 0 && !slices.Contains(chosen, phase.Name) {
 			continue
 		}
-		if w.Progress != nil {
-			fmt.Fprintf(w.Progress, "%5.1f s  %s\n", w.Since().Seconds(), step.Name)
+		if bed.Progress != nil {
+			_, _ = fmt.Fprintf(bed.Progress, "%5.1f s  %s\n", bed.Elapsed().Seconds(), phase.Name)
 		}
-		if err := step.Do(ctx, rng); err != nil || ctx.Err() != nil {
+		if err := phase.Run(ctx, rng); err != nil || ctx.Err() != nil {
 			return cmp.Or(err, ctx.Err())
 		}
 	}
-	for _, n := range w.Nodes {
-		w.sound(n.Process)
-		if a := w.Agents[n.Name]; a != nil {
-			w.sound(a.Process)
+	bed.checkProcesses()
+	return nil
+}
+
+// checkProcesses checks that no node or agent has ended by itself.
+func (bed *Testbed) checkProcesses() {
+	for _, node := range bed.Nodes {
+		bed.checkExit(node.Process)
+		if agent := bed.Agents[node.Name]; agent != nil {
+			bed.checkExit(agent.Process)
 		}
 	}
-	return nil
 }
 
-func (w *Testbed) sound(p *Process) {
-	if err := p.CheckExit(); err != nil {
-		w.AddViolation("crash", err.Error())
+func (bed *Testbed) checkExit(process *Process) {
+	if err := process.CheckExit(); err != nil {
+		bed.AddViolation("crash", err.Error())
 	}
 }
 
-// report has servers tell the load that they are asked to bear, over the last two seconds.
-func (w *Testbed) report(ctx context.Context) {
-	const over = 2 * time.Second
-	tick := time.NewTicker(100 * time.Millisecond)
+// reportLoads has servers report what they were asked over the last two seconds, over what they
+// can do, until ctx ends.
+func (bed *Testbed) reportLoads(ctx context.Context) {
+	tick := time.NewTicker(loadInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -68,22 +86,13 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		asked := map[string]float64{}
-		for _, l := range w.FirstLines(now.Add(-over), now) {
-			asked[l.Server]++
+		asked := map[string]float64{} // by server
+		for _, line := range bed.FirstLines(now.Add(-loadWindow), now) {
+			asked[line.Server]++
 		}
-		for _, v := range w.AllServers() {
-			v.SetLoad(max(0.01, asked[v.Name]/over.Seconds()/w.CapacityOf(v, now)))
+		for _, server := range bed.AllServers() {
+			rate := asked[server.Name] / loadWindow.Seconds()
+			server.SetLoad(max(leastLoad, rate/bed.CapacityOf(server, now)))
 		}
 	}
 }
-
-// BuildMutated builds one of the commands with guards that can be taken out.
-func BuildMutated(ctx context.Context, dir, command string) (binary string, err error) {
-	binary = filepath.Join(dir, command+"-mutated")
-	out, err := exec.CommandContext(ctx, "go", "build", "-tags", "mutation", "-o", binary, "coralrelay/cmd/"+command).CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("build with -tags mutation, from the module's root: %w: %s", err, out)
-	}
-	return binary, nil
-}
