--- a/cmd/coralctl/account.go
+++ b/cmd/coralctl/account.go
@@ -18,10 +18,10 @@
 type accountCmd struct {
 	Key    accountKeyCmd    `cmd:"" help:"Make a key that signs changes, and print its public half."`
 	List   accountListCmd   `cmd:"" help:"List accounts, teams and grants as an agent knows them."`
-	Found  accountFoundCmd  `cmd:"" help:"Add an account; the root's alone."`
-	Team   accountTeamCmd   `cmd:"" help:"Add a team below an account or a team."`
-	Limits accountLimitsCmd `cmd:"" help:"Change limits; what is not named stays."`
-	Drop   accountDropCmd   `cmd:"" help:"Take away an account or team that has no teams and no routes."`
+	Found  accountFoundCmd  `name:"found" cmd:"" help:"Add an account; the root's alone."`
+	Team   accountTeamCmd   `name:"team" cmd:"" help:"Add a team below an account or a team."`
+	Limits accountLimitsCmd `name:"limits" cmd:"" help:"Change limits; what is not named stays."`
+	Drop   accountDropCmd   `name:"drop" cmd:"" help:"Take away an account or team that has no teams and no routes."`
 	Grant  accountGrantCmd  `cmd:"" help:"Let a key act on a subtree."`
 	Revoke accountRevokeCmd `cmd:"" help:"Take a key's grant away, and all that was given by it, down the line."`
 	Apply  accountApplyCmd  `cmd:"" help:"Several operations in one change."`
@@ -41,10 +41,10 @@
 
 // limitArgs are figures of which those that are nil stay.
 type limitArgs struct {
-	Open    *float64 `help:"Standing connections. All figures: negative for no bound, 0 for nothing; write --open=-1."`
-	Rate    *float64 `help:"Set-ups a second."`
-	Retries *float64 `help:"Retries a second."`
-	Probes  *float64 `help:"Probes a second."`
+	Open    *float64 `name:"open" help:"Standing connections. All figures: negative for no bound, 0 for nothing; write --open=-1."`
+	Rate    *float64 `name:"rate" help:"Set-ups a second."`
+	Retries *float64 `name:"retries" help:"Retries a second."`
+	Probes  *float64 `name:"probes" help:"Probes a second."`
 }
 
 func (a *limitArgs) over(l *account.Limits) {
@@ -110,7 +110,7 @@
 
 type accountLimitsCmd struct {
 	Path   string `arg:"" help:"An account's or team's path."`
-	Shrink string `enum:",proportion,priority" default:"" help:"How its teams and routes shrink where they hold more than is left: proportion or priority. Without it such a cut is refused."`
+	Shrink string `name:"shrink" enum:",proportion,priority" default:"" help:"How its teams and routes shrink where they hold more than is left: proportion or priority. Without it such a cut is refused."`
 	nodeArgs
 	changeArg
 }
@@ -136,9 +136,9 @@
 
 type accountGrantCmd struct {
 	Path   string   `arg:"" help:"The top of the subtree."`
-	Public string   `arg:"" help:"The public half of the key, as 'coralctl account key' prints it."`
-	Acts   []string `required:"" help:"Some of routes, limits, teams, grants, contracts."`
-	Depth  int      `default:"0" help:"How many times it may be handed on, one below the other."`
+	Public string   `name:"public" arg:"" help:"The public half of the key, as 'coralctl account key' prints it."`
+	Acts   []string `name:"acts" required:"" help:"Some of routes, limits, teams, grants, contracts."`
+	Depth  int      `name:"depth" default:"0" help:"How many times it may be handed on, one below the other."`
 	changeArg
 }
 
--- a/cmd/coralctl/change.go
+++ b/cmd/coralctl/change.go
@@ -18,7 +18,7 @@
 type changeArg struct {
 	agentArg
 	Key    string `required:"" placeholder:"FILE" help:"The key that signs, made with 'coralctl account key'."`
-	Why    string `required:"" help:"Stands with the change, for people."`
+	Why    string `name:"why" required:"" help:"Stands with the change, for people."`
 	DryRun bool   `help:"Ask whether it would be taken, and change nothing."`
 }
 
--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -31,7 +31,7 @@
 		List keyListCmd `cmd:"" help:"List a folder's keys, not their secrets."`
 	} `cmd:"" help:"Keys for resume tokens."`
 	Store struct {
-		Ledger storeLedgerCmd `cmd:"" help:"Show a ledger of spent tokens."`
+		Ledger storeLedgerCmd `name:"ledger" cmd:"" help:"Show a ledger of spent tokens."`
 	} `cmd:"" help:"Look into a store that no node has open."`
 	Fleet   fleetCmd   `cmd:"" help:"Ask the agent beside a node."`
 	Account accountCmd `cmd:"" help:"Accounts, teams and who may change what, through the agent beside a node."`
@@ -88,7 +88,7 @@
 }
 
 type keyNewCmd struct {
-	Folder    string        `arg:"" help:"The folder that resume.keys names."`
+	Folder    string        `name:"folder" arg:"" help:"The folder that resume.keys names."`
 	SignsFrom time.Duration `name:"signs-in" default:"10m" help:"When it begins to sign; the first key does at once. Until then every node must have it and have been sent SIGHUP."`
 }
 
@@ -104,7 +104,7 @@
 }
 
 type keyListCmd struct {
-	Folder string `arg:"" help:"The folder that resume.keys names."`
+	Folder string `name:"folder" arg:"" help:"The folder that resume.keys names."`
 }
 
 func (c *keyListCmd) Run() error {
--- a/cmd/coralctl/route.go
+++ b/cmd/coralctl/route.go
@@ -13,7 +13,7 @@
 
 type routeCmd struct {
 	Put  routePutCmd  `cmd:"" help:"Add a route, or replace it whole."`
-	Drop routeDropCmd `cmd:"" help:"Take a route away."`
+	Drop routeDropCmd `name:"drop" cmd:"" help:"Take a route away."`
 	List routeListCmd `cmd:"" help:"List routes in the order in which they are looked at, as an agent knows them."`
 }
 
@@ -23,11 +23,11 @@
 	Class    string   `help:"Only this class."`
 	Tenant   string   `help:"Only this tenant (realm)."`
 	Group    string   `help:"Only this group's key."`
-	From     float64  `help:"Only groups whose hash is in a range, of 0 to 1: from here ..."`
-	To       float64  `help:"... to below here."`
-	Returned *bool    `help:"Only those that return (or, with =false, that do not)."`
+	From     float64  `name:"from" help:"Only groups whose hash is in a range, of 0 to 1: from here ..."`
+	To       float64  `name:"to" help:"... to below here."`
+	Returned *bool    `name:"returned" help:"Only those that return (or, with =false, that do not)."`
 	Retry    *bool    `help:"Only those that are tried again (or, with =false, that are not)."`
-	Part     []string `placeholder:"ZONE=PERCENT" help:"How much goes to a zone or region, 100 in all. None for all that the owner may use."`
+	Part     []string `name:"part" placeholder:"ZONE=PERCENT" help:"How much goes to a zone or region, 100 in all. None for all that the owner may use."`
 	Contract string   `help:"The contract it is under."`
 	Priority int      `help:"The lower keeps longest when its owner is cut."`
 	limitArgs
@@ -67,7 +67,7 @@
 
 type routeListCmd struct {
 	agentArg
-	Below string `help:"Only those of a subtree."`
+	Below string `name:"below" help:"Only those of a subtree."`
 }
 
 func (c *routeListCmd) Run() error {
