--- a/cmd/coralctl/account_test.go
+++ b/cmd/coralctl/account_test.go
@@ -20,27 +20,27 @@
 )
 
 // recorder is an agent whose record is in memory.
-type recorder struct {
-	mu    sync.Mutex
-	state *logentry.State
+type fakeAgent struct {
+	mu       sync.Mutex
+	logState *logentry.State
 }
 
-func (r *recorder) HandleReport(agentapi.Report) (told agentapi.Response) { return told }
+func (r *fakeAgent) HandleReport(agentapi.Report) (told agentapi.Response) { return told }
 
-func (r *recorder) HandleOperator(_ context.Context, ask agentapi.OperatorRequest) (any, error) {
+func (r *fakeAgent) HandleOperator(_ context.Context, ask agentapi.OperatorRequest) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ask.Method == "record" {
-		return r.state, nil
+		return r.logState, nil
 	}
-	next, outcome := r.state.Apply(ask.Entry)
+	next, outcome := r.logState.Apply(ask.Entry)
 	if ask.Method == "propose" {
-		r.state = next
+		r.logState = next
 	}
 	return map[string]any{"outcome": outcome}, nil
 }
 
-func TestAccountCommands(t *testing.T) {
+func TestAccountAndRouteCommandsChangeTheState(t *testing.T) {
 	dir := t.TempDir()
 	_, root, err := keyfile.CreateAuthority(dir, "root")
 	if err != nil {
@@ -50,8 +50,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &recorder{}
-	if r.state, err = logentry.NewState(logentry.Genesis{RootKey: root}); err != nil {
+	r := &fakeAgent{}
+	if r.logState, err = logentry.NewState(logentry.Genesis{RootKey: root}); err != nil {
 		t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -106,7 +106,7 @@
 			t.Errorf("%s: %v, want %q", tt.words, err, tt.why)
 		}
 	}
-	_, s, err := (&agentArg{Agent: l.Addr().String()}).accounts()
+	_, s, err := (&agentFlags{Agent: l.Addr().String()}).fetchAccounts()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/coralctl/change.go
+++ b/cmd/coralctl/change.go
@@ -15,16 +15,16 @@
 )
 
 // A changeArg says who changes accounts or routes, by which agent and why.
-type changeArg struct {
-	agentArg
+type changeFlags struct {
+	agentFlags
 	Key    string `required:"" placeholder:"FILE" help:"The key that signs, made with 'coralctl account key'."`
-	Why    string `name:"why" required:"" help:"Stands with the change, for people."`
+	Reason string `name:"why" required:"" help:"Stands with the change, for people."`
 	DryRun bool   `help:"Ask whether it would be taken, and change nothing."`
 }
 
 // accounts asks the agent for the tree as it knows it.
-func (a *agentArg) accounts() (addr string, s account.State, err error) {
-	if addr, err = a.addr(); err != nil {
+func (a *agentFlags) fetchAccounts() (addr string, s account.State, err error) {
+	if addr, err = a.address(); err != nil {
 		return "", s, err
 	}
 	var all struct {
@@ -35,12 +35,12 @@
 }
 
 // send has operations taken together, on the tree as the agent knows it.
-func (c *changeArg) send(ops func(account.State) ([]account.Op, error)) error {
+func (c *changeFlags) submit(ops func(account.State) ([]account.Op, error)) error {
 	private, err := keyfile.LoadAuthority(c.Key)
 	if err != nil {
 		return err
 	}
-	addr, s, err := c.accounts()
+	addr, s, err := c.fetchAccounts()
 	if err != nil {
 		return err
 	}
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	e := logentry.Entry{Kind: logentry.KindAccounts, ProposedAt: time.Now().UnixMilli(), Reason: c.Why, Body: body,
+	e := logentry.Entry{Kind: logentry.KindAccounts, ProposedAt: time.Now().UnixMilli(), Reason: c.Reason, Body: body,
 		KeyName: account.KeyName(private.Public().(ed25519.PublicKey))}
 	e.Signature = ed25519.Sign(private, e.SignedBytes())
 	raw, err := json.Marshal(e)
@@ -86,12 +86,12 @@
 }
 
 // one is send for a single operation.
-func (c *changeArg) one(op account.Op) error {
-	return c.send(func(account.State) ([]account.Op, error) { return []account.Op{op}, nil })
+func (c *changeFlags) submitOne(op account.Op) error {
+	return c.submit(func(account.State) ([]account.Op, error) { return []account.Op{op}, nil })
 }
 
 type accountApplyCmd struct {
-	changeArg
+	changeFlags
 	File string `arg:"" help:"JSON: a list of operations as docs/operate/accounts.md has them. All take hold together or none does."`
 }
 
@@ -104,5 +104,5 @@
 	if err := logentry.UnmarshalStrict(raw, &ops); err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
-	return c.send(func(account.State) ([]account.Op, error) { return ops, nil })
+	return c.submit(func(account.State) ([]account.Op, error) { return ops, nil })
 }
--- a/cmd/coralctl/fleet.go
+++ b/cmd/coralctl/fleet.go
@@ -13,16 +13,16 @@
 )
 
 // An agentArg says which agent is asked.
-type agentArg struct {
+type agentFlags struct {
 	Agent  string `placeholder:"HOST:PORT" xor:"agent" required:"" help:"Where the agent answers, as fleet.agent has it."`
 	Config string `placeholder:"FILE" xor:"agent" required:"" help:"The operator's file whose fleet.agent is asked."`
 }
 
-func (a *agentArg) addr() (string, error) {
+func (a *agentFlags) address() (string, error) {
 	if a.Agent != "" {
 		return a.Agent, nil
 	}
-	f, err := (&fileArg{a.Config}).export()
+	f, err := (&configFileArg{a.Config}).exportJSON()
 	if err != nil {
 		return "", err
 	}
@@ -37,10 +37,10 @@
 	State fleetStateCmd `cmd:"" help:"What an agent knows of the record, the zones and the members, and what it tells its node."`
 }
 
-type fleetStateCmd struct{ agentArg }
+type fleetStateCmd struct{ agentFlags }
 
 func (c *fleetStateCmd) Run() error {
-	addr, err := c.addr()
+	addr, err := c.address()
 	if err != nil {
 		return err
 	}
@@ -54,13 +54,13 @@
 func printState(out io.Writer, s *agentapi.State, now time.Time) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "member\t%s\n", s.Name)
-	fmt.Fprintf(w, "zone\t%s\n", or(s.Zone, "none"))
+	fmt.Fprintf(w, "zone\t%s\n", orDefault(s.Zone, "none"))
 	fmt.Fprintf(w, "record\t%s\n", s.Log)
 	if s.Log == "on" {
 		fmt.Fprintf(w, "index\t%d %.12s\n", s.Index, s.Hash)
-		fmt.Fprintf(w, "role\t%s, the leader is %s\n", s.Role, or(s.Leader, "not known"))
-		fmt.Fprintf(w, "heard\t%s\n", heard(s))
-		fmt.Fprintf(w, "disk\t%s\n", or(s.DiskError, "good"))
+		fmt.Fprintf(w, "role\t%s, the leader is %s\n", s.Role, orDefault(s.Leader, "not known"))
+		fmt.Fprintf(w, "heard\t%s\n", formatLastContact(s))
+		fmt.Fprintf(w, "disk\t%s\n", orDefault(s.DiskError, "good"))
 	}
 	if s.RejectedShare > 0 {
 		fmt.Fprintf(w, "refused\t%.0f %% of first arrivals: the zones that stay can't carry them\n", 100*s.RejectedShare)
@@ -72,7 +72,7 @@
 		if z.Step > 0 {
 			posture = fmt.Sprintf("%s, step %d, %.3g/s", z.Status, z.Step, z.Rate)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%s\t%s\n", z.ObservingZone, z.Zone, posture, z.Share, ago(now, z.ChangedAtMillis), ago(now, z.RetryAtMillis))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%s\t%s\n", z.ObservingZone, z.Zone, posture, z.Share, formatRelative(now, z.ChangedAtMillis), formatRelative(now, z.RetryAtMillis))
 	}
 	if len(s.ZoneStatuses) == 0 {
 		fmt.Fprintln(w, "all zones are open")
@@ -83,12 +83,12 @@
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "MEMBER\tZONE\tSTATUS\tINDEX\tLAST WORD")
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, or(m.Zone, "-"), m.Status, m.Index, ago(now, m.ReportedAtMillis))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", m.Name, orDefault(m.Zone, "-"), m.Status, m.Index, formatRelative(now, m.ReportedAtMillis))
 	}
 	return w.Flush()
 }
 
-func heard(s *agentapi.State) string {
+func formatLastContact(s *agentapi.State) string {
 	switch {
 	case s.LastContactMillis < 0:
 		return "never: this member acts on its last state and on what its node sees"
@@ -99,7 +99,7 @@
 }
 
 // ago words a time in Unix ms for people; 0 is none.
-func ago(now time.Time, ms int64) string {
+func formatRelative(now time.Time, ms int64) string {
 	if ms == 0 {
 		return "-"
 	}
@@ -110,7 +110,7 @@
 	return fmt.Sprintf("%v ago", d)
 }
 
-func or(s, other string) string {
+func orDefault(s, other string) string {
 	if s == "" {
 		return other
 	}
--- a/cmd/coralctl/main.go
+++ b/cmd/coralctl/main.go
@@ -20,7 +20,7 @@
 )
 
 // unusable is the exit code for a file that can't be used.
-const unusable = 2
+const exitUnusable = 2
 
 type cli struct {
 	Check   checkCmd   `cmd:"" help:"Check an operator's file; exit 2 names file, line, key, what was found and what is allowed."`
@@ -31,7 +31,7 @@
 		List keyListCmd `cmd:"" help:"List a folder's keys, not their secrets."`
 	} `cmd:"" help:"Keys for resume tokens."`
 	Store struct {
-		Ledger storeLedgerCmd `name:"ledger" cmd:"" help:"Show a ledger of spent tokens."`
+		Ledger storeReplayGuardCmd `name:"ledger" cmd:"" help:"Show a ledger of spent tokens."`
 	} `cmd:"" help:"Look into a store that no node has open."`
 	Fleet   fleetCmd   `cmd:"" help:"Ask the agent beside a node."`
 	Account accountCmd `cmd:"" help:"Accounts, teams and who may change what, through the agent beside a node."`
@@ -39,11 +39,11 @@
 }
 
 // A fileArg is a file of the operator's.
-type fileArg struct {
+type configFileArg struct {
 	File string `arg:"" help:"The operator's file, CUE or JSON."`
 }
 
-func (f *fileArg) export() ([]byte, error) {
+func (f *configFileArg) exportJSON() ([]byte, error) {
 	src, err := os.ReadFile(f.File)
 	if err != nil {
 		return nil, err
@@ -51,20 +51,20 @@
 	return schema.Export(f.File, src)
 }
 
-type checkCmd struct{ fileArg }
+type checkCmd struct{ configFileArg }
 
 func (c *checkCmd) Run() error {
-	if _, err := c.export(); err != nil {
+	if _, err := c.exportJSON(); err != nil {
 		return err
 	}
 	fmt.Println(c.File + ": ok")
 	return nil
 }
 
-type exportCmd struct{ fileArg }
+type exportCmd struct{ configFileArg }
 
 func (c *exportCmd) Run() error {
-	raw, err := c.export()
+	raw, err := c.exportJSON()
 	if err == nil {
 		fmt.Println(string(raw))
 	}
@@ -88,17 +88,17 @@
 }
 
 type keyNewCmd struct {
-	Folder    string        `name:"folder" arg:"" help:"The folder that resume.keys names."`
-	SignsFrom time.Duration `name:"signs-in" default:"10m" help:"When it begins to sign; the first key does at once. Until then every node must have it and have been sent SIGHUP."`
+	Folder       string        `name:"folder" arg:"" help:"The folder that resume.keys names."`
+	SigningDelay time.Duration `name:"signs-in" default:"10m" help:"When it begins to sign; the first key does at once. Until then every node must have it and have been sent SIGHUP."`
 }
 
 func (c *keyNewCmd) Run() error {
 	if !keyfile.HasKeys(c.Folder) {
-		c.SignsFrom = 0
+		c.SigningDelay = 0
 	}
-	path, id, err := keyfile.Create(c.Folder, time.Now().Add(c.SignsFrom))
+	path, id, err := keyfile.Create(c.Folder, time.Now().Add(c.SigningDelay))
 	if err == nil {
-		fmt.Printf("key %v in %s, signs in %v\n", id, path, c.SignsFrom)
+		fmt.Printf("key %v in %s, signs in %v\n", id, path, c.SigningDelay)
 	}
 	return err
 }
@@ -125,11 +125,11 @@
 	return nil
 }
 
-type storeLedgerCmd struct {
+type storeReplayGuardCmd struct {
 	File string `arg:"" help:"The ledger's file, ledger.db."`
 }
 
-func (c *storeLedgerCmd) Run() error {
+func (c *storeReplayGuardCmd) Run() error {
 	s, err := store.Open(c.File, replayguard.Schema, store.Options{ReadOnly: true})
 	if err != nil {
 		return err
@@ -162,7 +162,7 @@
 		if errors.As(err, &missing) || errors.As(err, &away) {
 			return 1
 		}
-		return unusable
+		return exitUnusable
 	}
 	return 0
 }
--- a/cmd/coralctl/script_test.go
+++ b/cmd/coralctl/script_test.go
@@ -18,7 +18,7 @@
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"coralctl": main}) }
 
 // built is a folder with the agent's program.
-var built = sync.OnceValues(func() (string, error) {
+var buildAgent = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "coralctl-")
 	if err != nil {
 		return "", err
@@ -31,7 +31,7 @@
 })
 
 // free returns a loopback address on which nobody listens.
-func free() (string, error) {
+func freeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -42,14 +42,14 @@
 // TestScripts plays the scripts in testdata/script, with the real programs.
 func TestScripts(t *testing.T) {
 	t.Cleanup(func() {
-		if dir, err := built(); err == nil {
+		if dir, err := buildAgent(); err == nil {
 			_ = os.RemoveAll(dir)
 		}
 	})
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", RequireExplicitExec: true,
 		Setup: func(e *testscript.Env) error {
 			for _, name := range []string{"AGENT", "GOSSIP", "RECORD"} {
-				addr, err := free()
+				addr, err := freeAddress()
 				if err != nil {
 					return err
 				}
@@ -58,19 +58,19 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fill": fill, "agent": agent,
+			"fill": expandEnvironment, "agent": startAgent,
 		}})
 }
 
 // fill FILE puts the environment's values in.
-func fill(ts *testscript.TestScript, _ bool, args []string) {
+func expandEnvironment(ts *testscript.TestScript, _ bool, args []string) {
 	path := ts.MkAbs(args[0])
 	ts.Check(os.WriteFile(path, []byte(os.Expand(ts.ReadFile(path), ts.Getenv)), 0o600))
 }
 
 // agent FILE starts coralagent with it and waits until it answers.
-func agent(ts *testscript.TestScript, _ bool, args []string) {
-	dir, err := built()
+func startAgent(ts *testscript.TestScript, _ bool, args []string) {
+	dir, err := buildAgent()
 	ts.Check(err)
 	c := exec.Command(filepath.Join(dir, "coralagent"), "--config", ts.MkAbs(args[0]))
 	said, err := os.Create(ts.MkAbs("agent.log"))
