--- /dev/null
+++ b/cmd/coralctl/config.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"coralrelay/internal/operatorconfig/schema"
+)
+
+// configFileArg is the argument that names an operator's file.
+type configFileArg struct {
+	File string `arg:"" help:"The operator's file, CUE or JSON."`
+}
+
+// exportJSON returns the file as complete JSON. A file that can't be read is an
+// *os.PathError, one that is not valid an error that names line and key.
+func (a *configFileArg) exportJSON() ([]byte, error) {
+	source, err := os.ReadFile(a.File)
+	if err != nil {
+		return nil, err
+	}
+	return schema.Export(a.File, source)
+}
+
+type checkCmd struct{ configFileArg }
+
+func (c *checkCmd) Run() error {
+	if _, err := c.exportJSON(); err != nil {
+		return err
+	}
+	fmt.Println(c.File + ": ok")
+	return nil
+}
+
+type exportCmd struct{ configFileArg }
+
+func (c *exportCmd) Run() error {
+	exported, err := c.exportJSON()
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(exported))
+	return nil
+}
+
+type explainCmd struct {
+	Key string `arg:"" optional:"" help:"A key or the beginning of one, such as resume.ledger."`
+}
+
+func (c *explainCmd) Run() error {
+	keys, err := schema.Keys(c.Key)
+	if err != nil {
+		return err
+	}
+	rows := newTable(os.Stdout)
+	for _, key := range keys {
+		rows.printf("%s\t%s\t%s\n", key.Name, key.Type, key.About)
+	}
+	return rows.flush()
+}
--- /dev/null
+++ b/cmd/coralctl/grant.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"path/filepath"
+
+	"coralrelay/internal/fleet/account"
+	"coralrelay/internal/keyfile"
+)
+
+type accountKeyCmd struct {
+	File string `arg:"" help:"The file to write; it must not exist."`
+}
+
+func (c *accountKeyCmd) Run() error {
+	path, publicKey, err := keyfile.CreateAuthority(filepath.Dir(c.File), filepath.Base(c.File))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("key %s in %s\npublic %s\n",
+		account.KeyName(publicKey), path, base64.StdEncoding.EncodeToString(publicKey))
+	return nil
+}
+
+type accountGrantCmd struct {
+	Path            string   `arg:"" help:"The top of the subtree."`
+	PublicKey       string   `name:"public" arg:"" help:"The public half of the key, as 'coralctl account key' prints it."`
+	Permissions     []string `name:"acts" required:"" help:"Some of routes, limits, teams, grants, contracts."`
+	DelegationDepth int      `name:"depth" default:"0" help:"How many times it may be handed on, one below the other."`
+	changeFlags
+}
+
+func (c *accountGrantCmd) Run() error {
+	publicKey, err := base64.StdEncoding.DecodeString(c.PublicKey)
+	if err != nil || len(publicKey) != ed25519.PublicKeySize {
+		return fmt.Errorf("public %.60q: want %d bytes in base64", c.PublicKey, ed25519.PublicKeySize)
+	}
+	grant := &account.Grant{
+		Key:             account.KeyName(publicKey),
+		PublicKey:       publicKey,
+		Permissions:     c.Permissions,
+		DelegationDepth: c.DelegationDepth,
+	}
+	return c.submitOps(account.Op{Kind: account.CreateGrant, Path: c.Path, Grant: grant})
+}
+
+type accountRevokeCmd struct {
+	Path string `arg:"" help:"The path that the grant is on."`
+	Name string `arg:"" help:"The key's name, as 'coralctl account list' has it."`
+	changeFlags
+}
+
+func (c *accountRevokeCmd) Run() error {
+	return c.submitOps(account.Op{Kind: account.RevokeGrant, Path: c.Path, Name: c.Name})
+}
--- /dev/null
+++ b/cmd/coralctl/key.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"coralrelay/internal/keyfile"
+)
+
+type keyCmd struct {
+	New  keyNewCmd  `cmd:"" help:"Make a key for resume tokens."`
+	List keyListCmd `cmd:"" help:"List a folder's keys, not their secrets."`
+}
+
+type keyNewCmd struct {
+	Folder       string        `name:"folder" arg:"" help:"The folder that resume.keys names."`
+	SigningDelay time.Duration `name:"signs-in" default:"10m" help:"When it begins to sign; the first key does at once. Until then every node must have it and have been sent SIGHUP."`
+}
+
+func (c *keyNewCmd) Run() error {
+	if !keyfile.HasKeys(c.Folder) {
+		c.SigningDelay = 0
+	}
+	path, id, err := keyfile.Create(c.Folder, time.Now().Add(c.SigningDelay))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("key %v in %s, signs in %v\n", id, path, c.SigningDelay)
+	return nil
+}
+
+type keyListCmd struct {
+	Folder string `name:"folder" arg:"" help:"The folder that resume.keys names."`
+}
+
+func (c *keyListCmd) Run() error {
+	ring, err := keyfile.Load(c.Folder)
+	if err != nil {
+		return err
+	}
+	signingKey, _ := ring.SigningKey(time.Now())
+	for _, key := range ring.Keys() {
+		use := "verifies"
+		if key == signingKey {
+			use = "signs"
+		} else if key.SigningStartsAt.After(time.Now()) {
+			use = "verifies, will sign"
+		}
+		fmt.Printf("%v  from %s  %s\n", key.ID, key.SigningStartsAt.Format(time.RFC3339), use)
+	}
+	return nil
+}
--- a/cmd/coralctl/route.go
+++ b/cmd/coralctl/route.go
@@ -2,15 +2,15 @@
 
 import (
 	"fmt"
-	"io"
-	"os"
 	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"coralrelay/internal/fleet/account"
 )
 
+// noLimit is a limit that bounds nothing.
+const noLimit = -1
+
 type routeCmd struct {
 	Put    routePutCmd    `cmd:"" help:"Add a route, or replace it whole."`
 	Delete routeDeleteCmd `name:"drop" cmd:"" help:"Take a route away."`
@@ -35,81 +35,65 @@
 }
 
 func (c *routePutCmd) Run() error {
-	r := &account.Route{Name: c.Name, Contract: c.Contract, Priority: c.Priority, Limits: account.Limits{Connections: -1, SetupRate: -1, RetryRate: -1, ProbeRate: -1},
-		Match: account.Match{Class: c.Class, Tenant: c.Tenant, Group: c.Group, HashFrom: c.HashFrom, HashTo: c.HashTo, Returning: c.Returning, Retry: c.Retry}}
-	c.applyTo(&r.Limits)
-	for _, part := range c.ZoneShares {
-		zone, word, _ := strings.Cut(part, "=")
-		percent, err := strconv.ParseFloat(word, 64)
-		if err != nil {
-			return fmt.Errorf("part %q: want ZONE=PERCENT", part)
-		}
-		r.ZoneShares = append(r.ZoneShares, account.ZoneShare{Zone: zone, Percent: percent})
+	route, err := c.route()
+	if err != nil {
+		return err
 	}
-	return c.submit(func(s account.State) ([]account.Op, error) {
-		op := account.Op{Kind: account.PutRoute, Path: c.Owner, Route: r}
-		if old := s.Routes[c.Owner+":"+c.Name]; old != nil {
-			op.ExpectedVersion = old.Version
+	return c.submit(func(accounts account.State) ([]account.Op, error) {
+		op := account.Op{Kind: account.PutRoute, Path: c.Owner, Route: route}
+		if existing := accounts.Routes[c.Owner+":"+c.Name]; existing != nil {
+			op.ExpectedVersion = existing.Version
 		}
 		return []account.Op{op}, nil
 	})
 }
 
-type routeDeleteCmd struct {
-	Owner string `arg:"" help:"Path of the account or team."`
-	Name  string `arg:"" help:"The route's name."`
-	changeFlags
-}
-
-func (c *routeDeleteCmd) Run() error {
-	return c.submitOne(account.Op{Kind: account.DeleteRoute, Path: c.Owner, Name: c.Name})
-}
-
-type routeListCmd struct {
-	agentFlags
-	Subtree string `name:"below" help:"Only those of a subtree."`
-}
-
-func (c *routeListCmd) Run() error {
-	_, s, err := c.fetchAccounts()
+// route returns the route that the flags describe. Limits that are not given bound nothing.
+func (c *routePutCmd) route() (*account.Route, error) {
+	shares, err := parseZoneShares(c.ZoneShares)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return printRoutes(os.Stdout, s, c.Subtree)
+	limits := account.Limits{Connections: noLimit, SetupRate: noLimit, RetryRate: noLimit, ProbeRate: noLimit}
+	c.applyTo(&limits)
+	return &account.Route{
+		Name: c.Name,
+		Match: account.Match{
+			Class:     c.Class,
+			Tenant:    c.Tenant,
+			Group:     c.Group,
+			HashFrom:  c.HashFrom,
+			HashTo:    c.HashTo,
+			Returning: c.Returning,
+			Retry:     c.Retry,
+		},
+		ZoneShares: shares,
+		Limits:     limits,
+		Contract:   c.Contract,
+		Priority:   c.Priority,
+	}, nil
 }
 
-func printRoutes(out io.Writer, s account.State, below string) error {
-	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "ROUTE\tMATCHES\tGOES TO\tOPEN\tRATE\tRETRIES\tPROBES\tCONTRACT")
-	for _, r := range s.RoutesByPrecedence() {
-		if below != "" && r.Owner != below && !strings.HasPrefix(r.Owner, below+"/") {
-			continue
-		}
-		parts := make([]string, len(r.ZoneShares))
-		for i, p := range r.ZoneShares {
-			parts[i] = fmt.Sprintf("%s %v%%", p.Zone, p.Percent)
+// parseZoneShares parses shares of the form ZONE=PERCENT.
+func parseZoneShares(args []string) ([]account.ZoneShare, error) {
+	var shares []account.ZoneShare
+	for _, arg := range args {
+		zone, value, _ := strings.Cut(arg, "=")
+		percent, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, fmt.Errorf("part %q: want ZONE=PERCENT", arg)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.Path(), formatMatch(r.Match), joinOrDash(parts),
-			limitColumns(r.Limits.Connections, r.Limits.SetupRate, r.Limits.RetryRate, r.Limits.ProbeRate), orDefault(r.Contract, "-"))
+		shares = append(shares, account.ZoneShare{Zone: zone, Percent: percent})
 	}
-	return w.Flush()
+	return shares, nil
 }
 
-func formatMatch(m account.Match) string {
-	var words []string
-	for _, f := range [][2]string{{"class", m.Class}, {"tenant", m.Tenant}, {"group", m.Group}} {
-		if f[1] != "" {
-			words = append(words, f[0]+" "+f[1])
-		}
-	}
-	if m.HashFrom != 0 || m.HashTo != 0 {
-		words = append(words, fmt.Sprintf("hash %v to %v", m.HashFrom, m.HashTo))
-	}
-	if m.Returning != nil {
-		words = append(words, fmt.Sprintf("returned %v", *m.Returning))
-	}
-	if m.Retry != nil {
-		words = append(words, fmt.Sprintf("retry %v", *m.Retry))
-	}
-	return orDefault(strings.Join(words, ", "), "all")
+type routeDeleteCmd struct {
+	Owner string `arg:"" help:"Path of the account or team."`
+	Name  string `arg:"" help:"The route's name."`
+	changeFlags
+}
+
+func (c *routeDeleteCmd) Run() error {
+	return c.submitOps(account.Op{Kind: account.DeleteRoute, Path: c.Owner, Name: c.Name})
 }
--- a/cmd/coralctl/script_test.go
+++ b/cmd/coralctl/script_test.go
@@ -15,9 +15,14 @@
 	"coralrelay/internal/fleet/agentapi"
 )
 
+const (
+	agentStartTimeout = 10 * time.Second
+	agentPollInterval = 10 * time.Millisecond
+)
+
 func TestMain(m *testing.M) { testscript.Main(m, map[string]func(){"coralctl": main}) }
 
-// built is a folder with the agent's program.
+// buildAgent builds the agent's program once and returns the folder that holds it.
 var buildAgent = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "coralctl-")
 	if err != nil {
@@ -30,66 +35,81 @@
 	return dir, nil
 })
 
-// free returns a loopback address on which nobody listens.
+// freeAddress returns a loopback address on which nobody listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	return l.Addr().String(), l.Close()
+	return listener.Addr().String(), listener.Close()
 }
 
-// TestScripts plays the scripts in testdata/script, with the real programs.
+// TestScripts runs the scripts in testdata/script, with the real programs.
 func TestScripts(t *testing.T) {
 	t.Cleanup(func() {
 		if dir, err := buildAgent(); err == nil {
 			_ = os.RemoveAll(dir)
 		}
 	})
-	testscript.Run(t, testscript.Params{Dir: "testdata/script", RequireExplicitExec: true,
-		Setup: func(e *testscript.Env) error {
-			for _, name := range []string{"AGENT", "GOSSIP", "RECORD"} {
-				addr, err := freeAddress()
-				if err != nil {
-					return err
-				}
-				e.Setenv(name, addr)
-			}
-			return nil
-		},
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup:               setFreeAddresses,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fill": expandEnvironment, "agent": startAgent,
-		}})
+			"fill":  expandEnvironment,
+			"agent": startAgent,
+		},
+	})
 }
 
-// fill FILE puts the environment's values in.
+// setFreeAddresses gives a script the addresses on which its agent listens.
+func setFreeAddresses(env *testscript.Env) error {
+	for _, name := range []string{"AGENT", "GOSSIP", "RECORD"} {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		env.Setenv(name, address)
+	}
+	return nil
+}
+
+// expandEnvironment is the script command "fill FILE": it replaces $NAME in the file by the
+// script's variables.
 func expandEnvironment(ts *testscript.TestScript, _ bool, args []string) {
 	path := ts.MkAbs(args[0])
 	ts.Check(os.WriteFile(path, []byte(os.Expand(ts.ReadFile(path), ts.Getenv)), 0o600))
 }
 
-// agent FILE starts coralagent with it and waits until it answers.
+// startAgent is the script command "agent FILE": it starts coralagent with the operator's
+// file and waits until it answers.
 func startAgent(ts *testscript.TestScript, _ bool, args []string) {
 	dir, err := buildAgent()
 	ts.Check(err)
-	c := exec.Command(filepath.Join(dir, "coralagent"), "--config", ts.MkAbs(args[0]))
-	said, err := os.Create(ts.MkAbs("agent.log"))
+	logFile, err := os.Create(ts.MkAbs("agent.log"))
 	ts.Check(err)
-	c.Dir, c.Stderr = ts.MkAbs("."), said
-	ts.Check(c.Start())
+	agent := exec.Command(filepath.Join(dir, "coralagent"), "--config", ts.MkAbs(args[0]))
+	agent.Dir = ts.MkAbs(".")
+	agent.Stderr = logFile
+	ts.Check(agent.Start())
 	ts.Defer(func() {
-		_ = c.Process.Signal(os.Interrupt)
-		_ = c.Wait()
-		_ = said.Close()
+		_ = agent.Process.Signal(os.Interrupt)
+		_ = agent.Wait()
+		_ = logFile.Close()
 	})
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for begun := time.Now(); ; <-tick.C {
-		var s agentapi.State
-		if err := agentapi.Call(ts.Getenv("AGENT"), agentapi.OperatorRequest{Method: "state"}, &s); err == nil {
+	waitForAgent(ts)
+}
+
+func waitForAgent(ts *testscript.TestScript) {
+	ticker := time.NewTicker(agentPollInterval)
+	defer ticker.Stop()
+	for startedAt := time.Now(); ; <-ticker.C {
+		var state agentapi.State
+		err := agentapi.Call(ts.Getenv("AGENT"), agentapi.OperatorRequest{Method: methodState}, &state)
+		if err == nil {
 			return
 		}
-		if time.Since(begun) > 10*time.Second {
+		if time.Since(startedAt) > agentStartTimeout {
 			ts.Fatalf("the agent does not answer")
 		}
 	}
--- /dev/null
+++ b/cmd/coralctl/store.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"coralrelay/internal/replayguard"
+	"coralrelay/internal/resumetoken"
+	"coralrelay/internal/store"
+)
+
+type storeCmd struct {
+	ReplayGuard storeReplayGuardCmd `cmd:"" name:"ledger" help:"Show a ledger of spent tokens."`
+}
+
+type storeReplayGuardCmd struct {
+	File string `arg:"" help:"The ledger's file, ledger.db."`
+}
+
+func (c *storeReplayGuardCmd) Run() error {
+	opened, err := store.Open(c.File, replayguard.Schema, store.Options{ReadOnly: true})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = opened.Close() }()
+	fmt.Printf("ledger %v, layout %d, %d bytes\n", opened.ID, opened.Layout(), opened.Size())
+	total := 0
+	err = opened.View(func(tx *store.Tx) error {
+		return replayguard.ForEachWindow(tx, func(window resumetoken.Window, spent int) {
+			total += spent
+			fmt.Printf("  expire by %s: %d spent\n", window.End().Format(time.RFC3339), spent)
+		})
+	})
+	fmt.Printf("%d spent tokens\n", total)
+	return err
+}
