--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -109,7 +109,7 @@
 		Group:         request.Group,
 		Tenant:        request.Tenant,
 		CurrentServer: request.Endpoint,
-		Hint:          request.Hint,
+		Hint:          request.LoadHint,
 		Retry:         request.Retry,
 		Returned:      request.Returned,
 		Deadline:      time.Now().Add(timeout),
--- a/internal/fleet/agent/routetables.go
+++ b/internal/fleet/agent/routetables.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/fleet/agentapi/routeupdate"
 	"coralrelay/internal/fleet/logentry"
-	"coralrelay/internal/route"
 	"coralrelay/internal/route/snapshot"
 )
 
@@ -23,10 +23,10 @@
 // built, so that it is new after each change and after each start of the agent.
 type routeTables struct {
 	mu             sync.Mutex
-	kept           []route.Update // the last few, complete, the latest last
-	versions       tableVersions  // of the latest
-	builtAt        time.Duration  // the latest
-	readyEndpoints map[string]int // by zone, as the node reports
+	kept           []routeupdate.Update // the last few, complete, the latest last
+	versions       tableVersions        // of the latest
+	builtAt        time.Duration        // the latest
+	readyEndpoints map[string]int       // by zone, as the node reports
 	nodeHasTable   bool
 	update         tableUpdate // the last that was cut into parts
 }
@@ -39,13 +39,13 @@
 // tableUpdate is what leads from one table to another, in parts.
 type tableUpdate struct {
 	baseIndex, index uint64 // baseIndex is 0 for a complete table
-	parts            []route.Update
+	parts            []routeupdate.Update
 }
 
 // latest returns the latest table, with index 0 if there is none. The lock is held.
-func (t *routeTables) latest() route.Update {
+func (t *routeTables) latest() routeupdate.Update {
 	if len(t.kept) == 0 {
-		return route.Update{}
+		return routeupdate.Update{}
 	}
 	return t.kept[len(t.kept)-1]
 }
@@ -126,8 +126,8 @@
 
 // cutUpdate cuts what leads from the node's table, or from none if it is not kept any more,
 // to the latest into parts, unless that was done before. The lock is held.
-func (t *routeTables) cutUpdate(latest route.Update, nodeTableIndex uint64) {
-	var base *route.Update
+func (t *routeTables) cutUpdate(latest routeupdate.Update, nodeTableIndex uint64) {
+	var base *routeupdate.Update
 	for i := range t.kept {
 		if t.kept[i].Index == nodeTableIndex {
 			base = &t.kept[i]
@@ -142,7 +142,7 @@
 	}
 	table := latest
 	if base != nil {
-		table = route.Diff(*base, latest)
+		table = routeupdate.Diff(*base, latest)
 	}
 	t.update = tableUpdate{
 		baseIndex: baseIndex,
