--- /dev/null
+++ b/cmd/coralrelay/drain_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"testing"
+	"time"
+)
+
+// Migrated clients come again through the front, which sends them here for as long as it does not
+// know of the restart: also with short deadlines none is migrated before it knows.
+func TestDrainPlanOfRestart(t *testing.T) {
+	const ms = time.Millisecond
+	startedAt := time.Unix(1, 0)
+	for longest, from := range map[time.Duration]time.Duration{
+		300 * ms: 400 * ms, 400 * ms: 400 * ms, 1800 * ms: 900 * ms, maxDrainDeadline: 1500 * ms,
+	} {
+		plan := newDrainPlan(startedAt, longest)
+		if got := plan.MoveStartAt.Sub(startedAt); got != from || plan.RejectAt != startedAt {
+			t.Errorf("%v: moves begin after %v, want %v", longest, got, from)
+		}
+		moveEnd, end := plan.MoveEndAt.Sub(startedAt), plan.EndAt.Sub(startedAt)
+		if plan.MoveEndAt.Before(plan.MoveStartAt) || !plan.MoveEndAt.Before(plan.EndAt) || end > longest+700*ms {
+			t.Errorf("%v: moves until %v, the end after %v", longest, moveEnd, end)
+		}
+	}
+}
--- /dev/null
+++ b/internal/hotrestart/socket.go
@@ -0,0 +1,54 @@
+package hotrestart
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// withSocketAddr calls use with the address of the socket called name in dir. An address
+// must be short, so it names the directory by its descriptor, which is open for the call.
+func withSocketAddr(dir, name string, use func(addr *net.UnixAddr) error) error {
+	directory, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("hot restart: %w", err)
+	}
+	defer directory.Close()
+	path := filepath.Join(fmt.Sprintf("/proc/self/fd/%d", directory.Fd()), socketPrefix+name)
+	if err := use(&net.UnixAddr{Name: path, Net: network}); err != nil {
+		return fmt.Errorf("hot restart: socket %s%s in %s: %w", socketPrefix, name, dir, err)
+	}
+	return nil
+}
+
+// isSameUser reports whether the process at the other end runs as this process's user.
+func isSameUser(conn *net.UnixConn) (same bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		credentials, err := unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED)
+		same = err == nil && int(credentials.Uid) == os.Getuid()
+	})
+	return same
+}
+
+// withDescriptor calls use with a connection's descriptor, which stays the connection's.
+func withDescriptor(conn net.Conn, use func(fd int) error) error {
+	withSyscalls, ok := conn.(syscall.Conn)
+	if !ok {
+		return errors.New("the connection has no descriptor")
+	}
+	raw, err := withSyscalls.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = use(int(fd)) })
+	return errors.Join(controlErr, err)
+}
