--- a/internal/udp/health.go
+++ b/internal/udp/health.go
@@ -12,107 +12,115 @@
 )
 
 const (
-	// seeks is how often silent next hops are looked for, and asks how often one is sent an echo.
-	seeks, asks = 250 * time.Millisecond, time.Second
+	// silenceCheckInterval is how often silent endpoints are looked for.
+	silenceCheckInterval = 250 * time.Millisecond
+	// echoInterval is how often an endpoint is sent an echo.
+	echoInterval = time.Second
 )
 
-// health is what the front keeps of a next hop, under its lock.
-type health struct {
-	server   string
-	flows    int // that stand there
-	evidence flowtable.LivenessEvidence
+// endpointHealth is what the listener knows of an endpoint's liveness, under its lock.
+type endpointHealth struct {
+	endpointID string
+	boundFlows int
+	evidence   flowtable.LivenessEvidence
 
-	echo     *net.UDPConn // nil where probes tell
-	asked    bool         // an echo is out
-	answered bool
-	askAt    time.Time
+	echoConn     *net.UDPConn // nil where the endpoint's probes are used
+	echoSent     bool
+	echoAnswered bool // since the last one was sent
+	nextEchoAt   time.Time
 }
 
-// healthOf returns a next hop's, which is kept for as long as the list names it: what it
-// used to do counts when it has flows again.
-func (f *Listener) healthOf(server string, addr netip.AddrPort) *health {
-	h := f.health[server]
+// endpointHealth returns the health of an endpoint, and opens the socket for its echoes. It is
+// kept while the endpoint is listed: its answered share counts when it has flows again.
+func (l *Listener) endpointHealth(endpointID string, address netip.AddrPort) *endpointHealth {
+	h := l.health[endpointID]
 	if h == nil {
-		h = &health{server: server}
-		f.health[server] = h
+		h = &endpointHealth{endpointID: endpointID}
+		l.health[endpointID] = h
 	}
-	if h.echo == nil && f.o.Echo != "" && f.o.Silence.After > 0 {
-		conn, err := f.ports.dial(addr)
-		if err != nil {
-			f.failed.Warn("udp: socket for echoes", "nexthop", server, "err", err)
-			return h
-		}
-		h.echo = conn
-		f.wg.Go(func() { f.echoes(h, conn) })
+	if h.echoConn != nil || l.options.Echo == "" || l.options.Silence.After <= 0 {
+		return h
+	}
+	conn, err := l.sourcePorts.dial(address)
+	if err != nil {
+		l.warnings.Warn("cannot open echo socket", "component", component, "endpoint", endpointID, "error", err)
+		return h
 	}
+	h.echoConn = conn
+	l.wg.Go(func() { l.readEchoes(h, conn) })
 	return h
 }
 
-func (h *health) close() {
-	if h.echo != nil {
-		_ = h.echo.Close()
-		h.echo = nil
+// close closes the socket for echoes, if there is one.
+func (h *endpointHealth) close() {
+	if h.echoConn != nil {
+		_ = h.echoConn.Close()
+		h.echoConn = nil
 	}
 }
 
-// echoes notes what answers an echo, whatever it says.
-func (f *Listener) echoes(h *health, conn *net.UDPConn) {
-	b := make([]byte, usual)
+// readEchoes records the answers to echoes, whatever they contain, until the socket is closed.
+func (l *Listener) readEchoes(h *endpointHealth, conn *net.UDPConn) {
+	buffer := make([]byte, typicalDatagramSize)
 	for {
-		_, err := conn.Read(b)
+		_, err := conn.Read(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		f.mu.Lock()
-		if h.echo != conn {
-			f.mu.Unlock()
+		l.mu.Lock()
+		if h.echoConn != conn {
+			l.mu.Unlock()
 			return
 		}
-		h.answered = h.answered || err == nil
-		f.mu.Unlock()
+		h.echoAnswered = h.echoAnswered || err == nil
+		l.mu.Unlock()
 	}
 }
 
-// leaveSilent looks which next hops have fallen silent; their flows let them go, and come back
-// elsewhere with their next datagrams, at the pace.
-func (f *Listener) leaveSilent(now time.Time) {
-	if f.o.Silence.After <= 0 || now.Before(f.soughtAt) {
+// replaceSilent replaces the flows of endpoints that have fallen silent. They are placed again
+// with their next datagrams, at the rate of Options.ReplacedFlows.
+func (l *Listener) replaceSilent(now time.Time) {
+	if l.options.Silence.After <= 0 || now.Before(l.silenceCheckAt) {
 		return
 	}
-	f.soughtAt = now.Add(seeks)
-	at := now.Sub(f.start)
-	for _, h := range f.health {
-		if h.flows == 0 {
-			h.close() // it is asked while it has flows
-			h.asked = false
+	l.silenceCheckAt = now.Add(silenceCheckInterval)
+	elapsed := now.Sub(l.start)
+	for _, h := range l.health {
+		if h.boundFlows == 0 { // no echoes without flows
+			h.close()
+			h.echoSent = false
 			continue
 		}
-		f.inquire(h, now)
-		if !h.evidence.IsSilent(at, f.o.Silence) || mutation.Enabled("silence") {
+		l.probe(h, now)
+		if !h.evidence.IsSilent(elapsed, l.options.Silence) || mutation.Enabled("silence") {
 			continue
 		}
-		n := f.lose(h)
-		h.evidence.FlowRemoved()
-		f.Counts.Silent.Add(int64(n))
-		slog.Warn("udp: a next hop is silent, its flows go elsewhere", "nexthop", h.server, "flows", n)
+		replaced := l.replaceFlowsOf(h)
+		h.evidence.FlowsReplaced()
+		l.Counts.Silent.Add(int64(replaced))
+		slog.Warn("endpoint silent, its flows are replaced",
+			"component", component, "endpoint", h.endpointID, "flows", replaced)
 	}
 }
 
-// inquire takes the latest word on a next hop, and asks for another.
-func (f *Listener) inquire(h *health, now time.Time) {
-	at := now.Sub(f.start)
-	switch {
-	case h.echo == nil:
-		h.evidence.ProbeAnswered(at, f.hops.IsResponsive(h.server))
-	case now.Before(h.askAt):
-		if h.answered {
-			h.evidence.ProbeAnswered(at, true)
-		}
-	default:
-		if h.asked {
-			h.evidence.ProbeAnswered(at, h.answered)
+// probe records the latest result of an endpoint's probes or echoes, and sends the next echo
+// when it is due.
+func (l *Listener) probe(h *endpointHealth, now time.Time) {
+	elapsed := now.Sub(l.start)
+	if h.echoConn == nil {
+		h.evidence.ProbeAnswered(elapsed, l.endpoints.IsResponsive(h.endpointID))
+		return
+	}
+	if now.Before(h.nextEchoAt) { // there is still time for an answer
+		if h.echoAnswered {
+			h.evidence.ProbeAnswered(elapsed, true)
 		}
-		h.asked, h.answered, h.askAt = true, false, now.Add(asks)
-		_, _ = h.echo.Write([]byte(f.o.Echo)) // a refusal shows at the flows' sockets
+		return
+	}
+	if h.echoSent {
+		h.evidence.ProbeAnswered(elapsed, h.echoAnswered)
 	}
+	h.echoSent, h.echoAnswered = true, false
+	h.nextEchoAt = now.Add(echoInterval)
+	_, _ = h.echoConn.Write([]byte(l.options.Echo)) // a refusal shows at the flows' sockets
 }
