--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -40,7 +40,7 @@
 type Client struct {
 	Key, Group        string
 	Class             string
-	Patience          time.Duration // for the final answer
+	AnswerTimeout     time.Duration // for the final answer
 	Nodes             NodePicker
 	Observer          ClientObserver
 	DuplicateShare    float64 // how often it presents a token at two nodes at once
@@ -91,7 +91,7 @@
 func (c *Client) twice(ctx context.Context, token string) string {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	other := &Client{Key: c.Key, Group: c.Group, Class: c.Class, Patience: c.Patience, Nodes: c.Nodes, Observer: c.Observer,
+	other := &Client{Key: c.Key, Group: c.Group, Class: c.Class, AnswerTimeout: c.AnswerTimeout, Nodes: c.Nodes, Observer: c.Observer,
 		rng: rand.New(rand.NewPCG(c.rng.Uint64(), 2)), versions: map[int]uint64{}}
 	c.mu.Lock()
 	other.pos, other.placed, other.last = c.pos, c.placed, c.last
@@ -101,7 +101,7 @@
 	c.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		short, stop := context.WithTimeout(ctx, 2*c.Patience)
+		short, stop := context.WithTimeout(ctx, 2*c.AnswerTimeout)
 		defer stop()
 		other.once(short, token)
 	})
@@ -126,7 +126,7 @@
 	defer stop()
 	c.ids++
 	begun := time.Now()
-	list := fmt.Sprintf("c=%s,d=%d,g=%s", c.Class, c.Patience.Milliseconds(), c.Group)
+	list := fmt.Sprintf("c=%s,d=%d,g=%s", c.Class, c.AnswerTimeout.Milliseconds(), c.Group)
 	if !c.WithoutResumption {
 		if list += ",rs=1"; token != "" {
 			list = strings.TrimSuffix(list, "1") + token
@@ -138,7 +138,7 @@
 		c.mu.Unlock()
 	}
 	fmt.Fprintf(conn, "OPEN %s.%d.%d %s %s\r\n", c.Key, begun.UnixNano(), c.ids, c.Key, list)
-	_ = conn.SetReadDeadline(begun.Add(c.Patience + time.Second))
+	_ = conn.SetReadDeadline(begun.Add(c.AnswerTimeout + time.Second))
 	r := bufio.NewReaderSize(conn, 8192)
 	first, err := r.ReadString('\n')
 	took := time.Since(begun)
@@ -152,7 +152,7 @@
 		return token, again
 	}
 	first = strings.TrimRight(first, "\r\n")
-	if took > c.Patience+50*time.Millisecond {
+	if took > c.AnswerTimeout+50*time.Millisecond {
 		c.Observer.AddViolation("one-answer", fmt.Sprintf("%s at %s: %q came after %v", c.Key, node, first, took))
 	}
 	word, rest, _ := strings.Cut(first, " ")
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -40,9 +40,9 @@
 	Capacity int           // connections that fill it
 	// IgnoreEpoch makes it take a position of any numbering for one of its own: a
 	// cheat, for a mutation.
-	IgnoreEpoch bool
-	Datagrams   func(d Datagram) // with it the server takes datagrams too, at the same ports
-	Late        float64          // of them that it answers once more, seconds later
+	IgnoreEpoch       bool
+	Datagrams         func(d Datagram) // with it the server takes datagrams too, at the same ports
+	DelayedReplyShare float64          // of them that it answers once more, seconds later
 }
 
 // Server is a feed server. While it runs it listens at one address for each node.
--- a/internal/fake/spoilt.go
+++ b/internal/fake/spoilt.go
@@ -2,7 +2,7 @@
 
 // Hang has the server take datagrams and answer none, while its probes go on as if nothing
 // were wrong; or ends that.
-func (s *Server) Hang(on bool) { s.hung.Store(on) }
+func (s *Server) SetDatagramsUnanswered(on bool) { s.hung.Store(on) }
 
 // Spoilt is how a server fails while its process runs.
 type FaultMode int32
--- a/internal/fake/udp.go
+++ b/internal/fake/udp.go
@@ -81,7 +81,7 @@
 				continue
 			}
 			_, _ = conn.WriteToUDPAddrPort(b[:n], from) // with its header, if it has one
-			if s.Late > 0 && rand.Float64() < s.Late {
+			if s.DelayedReplyShare > 0 && rand.Float64() < s.DelayedReplyShare {
 				again := bytes.Clone(b[:n])
 				time.AfterFunc(time.Duration((1.2+2.8*rand.Float64())*float64(time.Second)), func() {
 					_, _ = conn.WriteToUDPAddrPort(again, from)
@@ -139,7 +139,7 @@
 
 // Steady is one flow that sends until ctx ends, and counts what it sent and what was
 // answered.
-func Steady(ctx context.Context, to, name string, number uint32, every time.Duration, sent, came *atomic.Int64) {
+func RunSteadyFlow(ctx context.Context, to, name string, number uint32, every time.Duration, sent, came *atomic.Int64) {
 	conn, err := (&net.Dialer{LocalAddr: source(number)}).DialContext(ctx, "udp", to)
 	if err != nil {
 		return
--- a/internal/scenario/demo.go
+++ b/internal/scenario/demo.go
@@ -73,7 +73,7 @@
 	defer wg.Wait()
 	defer stop()
 	for i := range clients {
-		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", Patience: testbed.Patience,
+		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%10), Class: "feed", AnswerTimeout: testbed.Patience,
 			Nodes: nodes, Observer: seen, WithoutResumption: true}
 		c.Seed(1, uint64(i))
 		wg.Go(func() {
--- a/internal/scenario/flood.go
+++ b/internal/scenario/flood.go
@@ -39,7 +39,7 @@
 			if !fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(steady)) {
 				return
 			}
-			fake.Steady(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), every, &sent, &came)
+			fake.RunSteadyFlow(ctx, o.Listen, fmt.Sprintf("f%d", i), uint32(i), every, &sent, &came)
 		})
 	}
 	share := func(part string) float64 {
--- a/internal/scenario/resume_play.go
+++ b/internal/scenario/resume_play.go
@@ -27,7 +27,7 @@
 	})
 	for i := range s.Clients {
 		c := &fake.Client{Key: fmt.Sprintf("k%d", i), Group: fmt.Sprintf("g%d", i%max(4, s.Clients/8)), Class: "feed",
-			Patience: testbed.Patience, Nodes: s.nodes, Observer: s, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
+			AnswerTimeout: testbed.Patience, Nodes: s.nodes, Observer: s, DuplicateShare: 0.1, WithoutResumption: i%25 == 24}
 		c.Seed(s.ResumeOptions.Seed, uint64(i))
 		s.clients = append(s.clients, c)
 		wg.Go(func() {
--- a/internal/scenario/udp.go
+++ b/internal/scenario/udp.go
@@ -100,7 +100,7 @@
 	}
 	for i := range o.Servers {
 		v := fake.NewServer(fake.ServerOptions{Name: fmt.Sprintf("s%d", i), Feed: fake.NewFeed(1, 1, 1),
-			Observer: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, Late: 0.05})
+			Observer: quiet{s.Result}, Capacity: 100 * beacons, Datagrams: s.datagram, DelayedReplyShare: 0.05})
 		addrs, err := v.Start([]string{"n0"})
 		if err != nil {
 			return nil, err
