--- a/internal/refmodel/list_crowd_test.go
+++ b/internal/refmodel/list_crowd_test.go
@@ -15,7 +15,7 @@
 // serves them in 6.5 s and lets a call wait for 3 s, and one that is given up costs its turn
 // or not. As many as it can serve by then have the list within 6 s, and their calls do not
 // crowd each other out.
-func TestCrowds(t *testing.T) {
+func TestThunderingHerdIsServedInTime(t *testing.T) {
 	const nodes, lead, outage = 300, 4 * time.Second, 8 * time.Second
 	const pace = 21500 * time.Microsecond // of the slow one
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
@@ -23,18 +23,18 @@
 		what   string
 		slow   bool
 		free   bool
-		before manner        // how discovery is until then; lists: watches fall silent then
+		before callBehavior  // how discovery is until then; lists: watches fall silent then
 		spent  time.Duration // of the 6 s before anybody can know
 		share  float64       // of those that may be late, beyond whom discovery can't serve
 	}{
-		{"starts", false, false, refuses, 0, 0.01},
-		{"back", false, false, refuses, 0, 0.01},
-		{"back from a cut", false, false, cut, 0, 0.01},
-		{"starts", true, false, refuses, 0, 0.05},
-		{"back", true, false, refuses, 0, 0.05},
-		{"back from a cut", true, false, cut, 0, 0.1},
-		{"silent", true, false, lists, 2500 * ms, 0.02},
-		{"silent", true, true, lists, 2500 * ms, 0.02},
+		{"starts", false, false, refusesConnect, 0, 0.01},
+		{"back", false, false, refusesConnect, 0, 0.01},
+		{"back from a cut", false, false, connectTimesOut, 0, 0.01},
+		{"starts", true, false, refusesConnect, 0, 0.05},
+		{"back", true, false, refusesConnect, 0, 0.05},
+		{"back from a cut", true, false, connectTimesOut, 0, 0.1},
+		{"silent", true, false, answersList, 2500 * ms, 0.02},
+		{"silent", true, true, answersList, 2500 * ms, 0.02},
 	}
 	for _, tt := range tests {
 		for seed := range uint64(1) {
@@ -46,46 +46,46 @@
 					switch {
 					case tt.what == "starts":
 						moment = time.Now()
-					case tt.before != lists:
+					case tt.before != answersList:
 						moment = falls.Add(outage)
 					}
-					d := newDiscovery(func(int) manner {
+					d := newFakeDiscovery(func(int) callBehavior {
 						switch now := time.Now(); {
 						case now.Before(moment) && now.Before(falls):
-							return lists
+							return answersList
 						case now.Before(moment):
 							return tt.before
 						case !tt.slow && moods.Float64() < 0.1:
-							return turns
+							return answers503
 						}
-						return lists
+						return answersList
 					})
-					d.takes = func() time.Duration {
+					d.serviceTime = func() time.Duration {
 						switch {
 						case time.Now().Before(moment):
 							return 0
 						case tt.slow:
-							return 16*ms + upTo(times, 11*ms)
+							return 16*ms + randomUpTo(times, 11*ms)
 						}
-						return 4*ms + upTo(times, 6*ms)
+						return 4*ms + randomUpTo(times, 6*ms)
 					}
-					d.free, d.ends = tt.free, tt.before != lists
+					d.skipsAbandoned, d.closesWatches = tt.free, tt.before != answersList
 					if tt.slow {
-						d.patience = 3 * time.Second
+						d.queueTimeout = 3 * time.Second
 					}
 					return d
 				}
-				inBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+				runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 					var all []*follower
 					for i := range nodes {
-						all = append(all, d.follow(ctx, t, fmt.Sprint("n", i), seed*nodes+uint64(i), asked(nodes)))
+						all = append(all, d.startFollower(ctx, t, fmt.Sprint("n", i), seed*nodes+uint64(i), pollSettings(nodes)))
 					}
 					moment := time.Now()
 					if tt.what != "starts" {
 						time.Sleep(lead)
-						moment = d.hush()
+						moment = d.silenceWatches()
 					}
-					if tt.what != "starts" && tt.before != lists {
+					if tt.what != "starts" && tt.before != answersList {
 						time.Sleep(outage)
 						moment = time.Now()
 					}
@@ -93,16 +93,16 @@
 					var took []time.Duration
 					late, calls := 0, 0
 					for i, f := range all {
-						calls += len(d.since(fmt.Sprint("n", i), moment.Add(-1)))
-						last := f.whole(moment.Add(-1)).Sub(moment)
-						if took = append(took, last); last <= 0 || last > toldAfter {
+						calls += len(d.callsSince(fmt.Sprint("n", i), moment.Add(-1)))
+						last := f.firstFullListAfter(moment.Add(-1)).Sub(moment)
+						if took = append(took, last); last <= 0 || last > notifyDeadline {
 							late++
 						}
 					}
 					t.Logf("the list is there after %v (half), %v (last); %d too late; %d calls", took[nodes/2], slices.Max(took), late, calls)
 					may := int(tt.share * nodes)
 					if tt.slow {
-						may += nodes - int((toldAfter-tt.spent)/pace)
+						may += nodes - int((notifyDeadline-tt.spent)/pace)
 					}
 					if late > may {
 						t.Errorf("%d nodes have their list too late, at most %d may", late, may)
--- a/internal/refmodel/list_discovery_test.go
+++ b/internal/refmodel/list_discovery_test.go
@@ -18,46 +18,46 @@
 )
 
 // manner is how discovery takes a call.
-type manner int
+type callBehavior int
 
 const (
-	lists   manner = iota // it answers with the whole list and then says something every beat
-	turns                 // it answers 503
-	hangs                 // it never says a word
-	refuses               // nobody listens
-	cut                   // connections to it never come up
-	stalls                // its list stops in the middle
-	drips                 // its list comes slowly
+	answersList     callBehavior = iota // it answers with the whole list and then says something every beat
+	answers503                          // it answers 503
+	neverAnswers                        // it never says a word
+	refusesConnect                      // nobody listens
+	connectTimesOut                     // connections to it never come up
+	stallsMidList                       // its list stops in the middle
+	answersSlowly                       // its list comes slowly
 )
 
 // discovery takes one call at a time, and drops those that have waited for its patience.
 type fakeDiscovery struct {
-	manner   func(call int) manner // of a node's calls, from 0; asked one at a time
-	takes    func() time.Duration  // one call
-	beat     func() time.Duration  // until the next word of a watch
-	patience time.Duration
-	free     bool // a call whose caller has gone costs no turn
-	queue    chan visit
-	parts    sync.WaitGroup
-
-	mu      sync.Mutex
-	calls   map[string][]time.Time // by node
-	quiet   chan struct{}          // closed when all watches fall silent
-	ends    bool                   // and then they end
-	request map[string]string      // a node's last
+	behavior          func(call int) callBehavior // of a node's calls, from 0; asked one at a time
+	serviceTime       func() time.Duration        // one call
+	heartbeatInterval func() time.Duration        // until the next word of a watch
+	queueTimeout      time.Duration
+	skipsAbandoned    bool // a call whose caller has gone costs no turn
+	queue             chan pendingCall
+	goroutines        sync.WaitGroup
+
+	mu            sync.Mutex
+	calls         map[string][]time.Time // by node
+	silenced      chan struct{}          // closed when all watches fall silent
+	closesWatches bool                   // and then they end
+	lastRequest   map[string]string      // a node's last
 }
 
-type visit struct {
-	call int
-	how  manner
-	at   time.Time
-	conn net.Conn
-	gone chan struct{} // closed once its caller has gone
+type pendingCall struct {
+	call      int
+	behavior  callBehavior
+	arrivedAt time.Time
+	conn      net.Conn
+	abandoned chan struct{} // closed once its caller has gone
 }
 
-func newDiscovery(m func(call int) manner) *fakeDiscovery {
-	return &fakeDiscovery{manner: m, takes: func() time.Duration { return 4 * ms }, beat: func() time.Duration { return 2 * time.Second }, patience: time.Second,
-		queue: make(chan visit, 4096), calls: map[string][]time.Time{}, request: map[string]string{}, quiet: make(chan struct{})}
+func newFakeDiscovery(m func(call int) callBehavior) *fakeDiscovery {
+	return &fakeDiscovery{behavior: m, serviceTime: func() time.Duration { return 4 * ms }, heartbeatInterval: func() time.Duration { return 2 * time.Second }, queueTimeout: time.Second,
+		queue: make(chan pendingCall, 4096), calls: map[string][]time.Time{}, lastRequest: map[string]string{}, silenced: make(chan struct{})}
 }
 
 func (d *fakeDiscovery) run(ctx context.Context) {
@@ -66,15 +66,15 @@
 		case <-ctx.Done():
 			return
 		case v := <-d.queue:
-			if time.Since(v.at) > d.patience || d.free && v.left() {
+			if time.Since(v.arrivedAt) > d.queueTimeout || d.skipsAbandoned && v.isAbandoned() {
 				v.conn.Close()
 				continue
 			}
-			time.Sleep(d.takes())
-			switch v.how {
-			case lists, stalls, drips:
-				d.parts.Go(func() { d.watch(ctx, v) })
-			case turns:
+			time.Sleep(d.serviceTime())
+			switch v.behavior {
+			case answersList, stallsMidList, answersSlowly:
+				d.goroutines.Go(func() { d.watch(ctx, v) })
+			case answers503:
 				fmt.Fprint(v.conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 				v.conn.Close()
 			}
@@ -83,9 +83,9 @@
 }
 
 // left tells whether the caller has gone.
-func (v visit) left() bool {
+func (v pendingCall) isAbandoned() bool {
 	select {
-	case <-v.gone:
+	case <-v.abandoned:
 		return true
 	default:
 		return false
@@ -93,16 +93,16 @@
 }
 
 // watch tells the list, then a word each beat until all watches fall silent or end.
-func (d *fakeDiscovery) watch(ctx context.Context, v visit) {
+func (d *fakeDiscovery) watch(ctx context.Context, v pendingCall) {
 	d.mu.Lock()
-	quiet := d.quiet
+	quiet := d.silenced
 	d.mu.Unlock()
 	_, err := fmt.Fprintf(v.conn, "HTTP/1.1 200 OK\r\n\r\n{\"generation\":%d,\"reset\":true,\"instances\":[", 7+v.call)
-	if v.how == stalls {
-		<-v.gone
+	if v.behavior == stallsMidList {
+		<-v.abandoned
 		return
 	}
-	if v.how == drips {
+	if v.behavior == answersSlowly {
 		time.Sleep(2400 * ms)
 	}
 	if err == nil {
@@ -113,22 +113,22 @@
 		case <-ctx.Done():
 			return
 		case <-quiet:
-			if _, err = io.WriteString(v.conn, "\n"); d.ends {
+			if _, err = io.WriteString(v.conn, "\n"); d.closesWatches {
 				v.conn.Close()
 			}
 			return
-		case <-time.After(d.beat()):
+		case <-time.After(d.heartbeatInterval()):
 			_, err = io.WriteString(v.conn, "\n")
 		}
 	}
 }
 
 // hush has all watches fall silent at one moment, behind a last word.
-func (d *fakeDiscovery) hush() (last time.Time) {
+func (d *fakeDiscovery) silenceWatches() (last time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	close(d.quiet)
-	d.quiet = make(chan struct{})
+	close(d.silenced)
+	d.silenced = make(chan struct{})
 	return time.Now()
 }
 
@@ -138,12 +138,12 @@
 		d.mu.Lock()
 		call := len(d.calls[node])
 		d.calls[node] = append(d.calls[node], time.Now())
-		how := d.manner(call)
+		how := d.behavior(call)
 		d.mu.Unlock()
 		switch how {
-		case refuses:
+		case refusesConnect:
 			return nil, errRefused
-		case cut:
+		case connectTimesOut:
 			select {
 			case <-ctx.Done():
 			case <-time.After(time.Until(deadline)):
@@ -152,13 +152,13 @@
 		}
 		near, far := net.Pipe()
 		gone := make(chan struct{})
-		d.parts.Go(func() { // sockets have buffers and pipes have not
+		d.goroutines.Go(func() { // sockets have buffers and pipes have not
 			r := bufio.NewReader(far)
 			line, _ := r.ReadString('\n')
 			d.mu.Lock()
-			d.request[node] = addr + " " + strings.TrimSpace(line)
+			d.lastRequest[node] = addr + " " + strings.TrimSpace(line)
 			d.mu.Unlock()
-			d.queue <- visit{call, how, time.Now(), far, gone}
+			d.queue <- pendingCall{call, how, time.Now(), far, gone}
 			_, _ = io.Copy(io.Discard, r)
 			close(gone)
 			far.Close()
@@ -169,37 +169,37 @@
 
 // follower is what of a node follows the list.
 type follower struct {
-	core  *dispatch.EventLoop
-	watch *discovery.Watcher
+	eventLoop *dispatch.EventLoop
+	watch     *discovery.Watcher
 
-	mu   sync.Mutex
-	told []discovery.Update
-	at   []time.Time
+	mu        sync.Mutex
+	updates   []discovery.Update
+	updatedAt []time.Time
 }
 
 func (f *follower) UpdateEndpoints(u discovery.Update) {
 	f.mu.Lock()
-	f.told, f.at = append(f.told, u), append(f.at, time.Now())
+	f.updates, f.updatedAt = append(f.updates, u), append(f.updatedAt, time.Now())
 	f.mu.Unlock()
-	f.core.UpdateEndpoints(u.ListUpdate())
+	f.eventLoop.UpdateEndpoints(u.ListUpdate())
 }
 
 func (*follower) Probe(string) {}
 
 // whole is when a whole list came first after a time; zero if none has.
-func (f *follower) whole(after time.Time) time.Time {
+func (f *follower) firstFullListAfter(after time.Time) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, u := range f.told {
-		if u.Kind == balance.ListFull && f.at[i].After(after) {
-			return f.at[i]
+	for i, u := range f.updates {
+		if u.Kind == balance.ListFull && f.updatedAt[i].After(after) {
+			return f.updatedAt[i]
 		}
 	}
 	return time.Time{}
 }
 
 // follow starts a follower that ends with ctx.
-func (d *fakeDiscovery) follow(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
+func (d *fakeDiscovery) startFollower(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
 	f := &follower{}
 	f.watch = discovery.New("discovery:1", f)
 	f.watch.Dial = d.dial(node)
@@ -207,20 +207,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.core = core
-	d.parts.Go(func() { core.Run(ctx) })
-	d.parts.Go(func() { f.watch.Run(ctx, discovery.Update{}) })
+	f.eventLoop = core
+	d.goroutines.Go(func() { core.Run(ctx) })
+	d.goroutines.Go(func() { f.watch.Run(ctx, discovery.Update{}) })
 	return f
 }
 
 // asked are the settings of one of n nodes that ask for their list.
-func asked(n int) balance.Settings {
+func pollSettings(n int) balance.Settings {
 	return balance.Settings{Instances: n, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10 * time.Second,
 		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * ms, Deadline: time.Second}}, Limits: balance.Limits{MaxAttempts: 4}}
 }
 
 // since is when a node's calls left, from a time on.
-func (d *fakeDiscovery) since(node string, from time.Time) (calls []time.Duration) {
+func (d *fakeDiscovery) callsSince(node string, from time.Time) (calls []time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, at := range d.calls[node] {
@@ -232,4 +232,6 @@
 }
 
 // upTo draws a time.
-func upTo(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d) + 1)) }
+func randomUpTo(r *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(d) + 1))
+}
--- a/internal/refmodel/list_return_test.go
+++ b/internal/refmodel/list_return_test.go
@@ -10,63 +10,63 @@
 
 // falls returns a discovery that a node finds as down says from a time of its life on, and
 // for a length. Then it takes the first call as first says.
-func falls(down, first manner, from, length time.Duration) func() *fakeDiscovery {
+func withOutage(down, first callBehavior, from, length time.Duration) func() *fakeDiscovery {
 	return func() *fakeDiscovery {
 		begun, back := time.Now().Add(from), time.Now().Add(from+length)
-		d := newDiscovery(func(int) manner {
+		d := newFakeDiscovery(func(int) callBehavior {
 			switch now := time.Now(); {
 			case now.Before(begun):
-				return lists
+				return answersList
 			case now.Before(back):
 				return down
 			}
 			m := first
-			first = lists
+			first = answersList
 			return m
 		})
-		d.ends = true
+		d.closesWatches = true
 		return d
 	}
 }
 
 // taken is a discovery that takes one call of a node as m says, and the others well.
-func taken(which int, m manner) func() *fakeDiscovery {
+func withCallBehavior(which int, m callBehavior) func() *fakeDiscovery {
 	return func() *fakeDiscovery {
-		return newDiscovery(func(call int) manner {
+		return newFakeDiscovery(func(call int) callBehavior {
 			if call == which {
 				return m
 			}
-			return lists
+			return answersList
 		})
 	}
 }
 
 // intime tells whether a list that came after a second call would have come in time too if
 // that call had taken as long as one may.
-func intime(took, in time.Duration) bool { return took > 0 && took+wait <= in }
+func leavesTimeForSecondCall(took, in time.Duration) bool { return took > 0 && took+callTimeout <= in }
 
 // However discovery was down and for however long, and however it then takes the first
 // call: within 6 s of its return a node has made a second whole call, on every setting.
-func TestDiscoveryIsBack(t *testing.T) {
+func TestDiscoveryRecoveryIsNoticedInTime(t *testing.T) {
 	for _, n := range []int{1, 30, 300} {
 		for _, within := range []time.Duration{0, 20 * ms, 10 * time.Second, time.Hour} {
-			for name, down := range map[string]manner{"refused": refuses, "503": turns, "cut": cut} {
+			for name, down := range map[string]callBehavior{"refused": refusesConnect, "503": answers503, "cut": connectTimesOut} {
 				t.Run(fmt.Sprint(n, " ", within, " ", name), func(t *testing.T) {
 					latest, calls := time.Duration(0), 0
 					for seed := range uint64(4) {
 						length := 8*time.Second + time.Duration(seed)*310*ms
-						inBubble(t, falls(down, down, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
-							set := asked(n)
+						runInBubble(t, withOutage(down, down, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
+							set := pollSettings(n)
 							set.SubscribeTimeout = within
-							f := d.follow(ctx, t, "n", seed, set)
+							f := d.startFollower(ctx, t, "n", seed, set)
 							time.Sleep(20 * time.Second)
-							begun := d.hush()
+							begun := d.silenceWatches()
 							time.Sleep(8 * time.Second)
-							calls = max(calls, len(d.since("n", begun)))
+							calls = max(calls, len(d.callsSince("n", begun)))
 							back := begun.Add(length)
 							time.Sleep(20 * time.Second)
-							took := f.whole(back).Sub(back)
-							if latest = max(latest, took); !intime(took, toldAfter) {
+							took := f.firstFullListAfter(back).Sub(back)
+							if latest = max(latest, took); !leavesTimeForSecondCall(took, notifyDeadline) {
 								t.Errorf("seed %d: the list came %v after the return", seed, took)
 							}
 						})
@@ -81,27 +81,27 @@
 // A list that stops in its middle after a silent watch, or after an outage, has its second
 // call inside the 6 s. One that comes slowly has one beside it, and the first whole one is
 // taken.
-func TestStalledList(t *testing.T) {
+func TestStalledListIsRetried(t *testing.T) {
 	for _, n := range []int{1, 300} {
 		for seed := range uint64(8) {
-			for _, m := range []manner{stalls, drips} {
-				inBubble(t, taken(1, m), func(ctx context.Context, d *fakeDiscovery) {
-					f := d.follow(ctx, t, "n", seed, asked(n))
+			for _, m := range []callBehavior{stallsMidList, answersSlowly} {
+				runInBubble(t, withCallBehavior(1, m), func(ctx context.Context, d *fakeDiscovery) {
+					f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
 					time.Sleep(20 * time.Second)
-					last := d.hush()
+					last := d.silenceWatches()
 					time.Sleep(20 * time.Second)
-					calls := d.since("n", last)
-					if took := f.whole(last).Sub(last); !intime(took, toldAfter) || len(calls) != 2 {
+					calls := d.callsSince("n", last)
+					if took := f.firstFullListAfter(last).Sub(last); !leavesTimeForSecondCall(took, notifyDeadline) || len(calls) != 2 {
 						t.Errorf("%d nodes, seed %d: the list came %v after the last word, asked at %v", n, seed, took, calls)
 					}
 				})
 			}
-			inBubble(t, falls(refuses, stalls, 20*time.Second, 8*time.Second), func(ctx context.Context, d *fakeDiscovery) {
-				f := d.follow(ctx, t, "n", seed, asked(n))
+			runInBubble(t, withOutage(refusesConnect, stallsMidList, 20*time.Second, 8*time.Second), func(ctx context.Context, d *fakeDiscovery) {
+				f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
 				time.Sleep(20 * time.Second)
-				back := d.hush().Add(8 * time.Second)
+				back := d.silenceWatches().Add(8 * time.Second)
 				time.Sleep(28 * time.Second)
-				if took := f.whole(back).Sub(back); !intime(took, toldAfter) {
+				if took := f.firstFullListAfter(back).Sub(back); !leavesTimeForSecondCall(took, notifyDeadline) {
 					t.Errorf("%d nodes, seed %d: the list came %v after the return", n, seed, took)
 				}
 			})
@@ -111,22 +111,22 @@
 
 // A new configuration that moves discovery in the middle of a back-off: the new service is
 // asked at once, and a second whole call fits into its 4 s.
-func TestMoveInBackOff(t *testing.T) {
-	for name, m := range map[string]manner{"refused": refuses, "503": turns, "unanswered": hangs, "cut": cut, "stalled": stalls} {
+func TestNewDiscoveryAddressEndsBackoff(t *testing.T) {
+	for name, m := range map[string]callBehavior{"refused": refusesConnect, "503": answers503, "unanswered": neverAnswers, "cut": connectTimesOut, "stalled": stallsMidList} {
 		latest := time.Duration(0)
 		for seed := range uint64(8) {
 			length := 12*time.Second + time.Duration(seed)*190*ms
-			inBubble(t, falls(refuses, m, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
-				f := d.follow(ctx, t, "n", seed, asked(300))
+			runInBubble(t, withOutage(refusesConnect, m, 20*time.Second, length), func(ctx context.Context, d *fakeDiscovery) {
+				f := d.startFollower(ctx, t, "n", seed, pollSettings(300))
 				time.Sleep(20 * time.Second)
-				d.hush()
+				d.silenceWatches()
 				time.Sleep(length + ms)
 				hup := time.Now()
 				f.watch.SetAddress("discovery:2")
 				time.Sleep(10 * time.Second)
-				calls := d.since("n", hup.Add(-1))
-				took := f.whole(hup).Sub(hup)
-				if latest = max(latest, took); !intime(took, 4*time.Second) || calls[0] > ms {
+				calls := d.callsSince("n", hup.Add(-1))
+				took := f.firstFullListAfter(hup).Sub(hup)
+				if latest = max(latest, took); !leavesTimeForSecondCall(took, 4*time.Second) || calls[0] > ms {
 					t.Errorf("%s, seed %d: the list came after %v, asked at %v", name, seed, took, calls)
 				}
 			})
@@ -137,21 +137,21 @@
 
 // Watches that fall silent or end when they have just begun: what drains right after is
 // known within 6 s, though the first call is turned away.
-func TestWatchEndsEarly(t *testing.T) {
+func TestEarlyWatchEndIsRetriedInTime(t *testing.T) {
 	for _, n := range []int{1, 300} {
 		for _, ends := range []bool{false, true} {
 			for _, after := range []time.Duration{0, 300 * ms, 990 * ms, 1990 * ms} {
 				for seed := range uint64(4) {
-					inBubble(t, taken(1, turns), func(ctx context.Context, d *fakeDiscovery) {
-						d.ends = ends
-						f := d.follow(ctx, t, "n", seed, asked(n))
-						for f.whole(time.Time{}).IsZero() {
+					runInBubble(t, withCallBehavior(1, answers503), func(ctx context.Context, d *fakeDiscovery) {
+						d.closesWatches = ends
+						f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
+						for f.firstFullListAfter(time.Time{}).IsZero() {
 							time.Sleep(ms)
 						}
 						time.Sleep(after)
-						last := d.hush()
+						last := d.silenceWatches()
 						time.Sleep(10 * time.Second)
-						if took := f.whole(last).Sub(last); !intime(took, toldAfter) {
+						if took := f.firstFullListAfter(last).Sub(last); !leavesTimeForSecondCall(took, notifyDeadline) {
 							t.Errorf("%d nodes, ends %v after %v, seed %d: the list came after %v", n, ends, after, seed, took)
 						}
 					})
@@ -163,17 +163,17 @@
 
 // A process that starts, alone or with all others, has time for a second whole call within
 // 6 s, however its first one is taken. Alone it has its list at once.
-func TestProcessStarts(t *testing.T) {
+func TestProcessStartGetsListInTime(t *testing.T) {
 	for _, n := range []int{1, 30, 300} {
-		for name, m := range map[string]manner{"listed": lists, "refused": refuses, "503": turns, "unanswered": hangs, "cut": cut, "stalled": stalls} {
+		for name, m := range map[string]callBehavior{"listed": answersList, "refused": refusesConnect, "503": answers503, "unanswered": neverAnswers, "cut": connectTimesOut, "stalled": stallsMidList} {
 			var took []time.Duration
 			for seed := range uint64(6) {
-				inBubble(t, taken(0, m), func(ctx context.Context, d *fakeDiscovery) {
+				runInBubble(t, withCallBehavior(0, m), func(ctx context.Context, d *fakeDiscovery) {
 					born := time.Now()
-					f := d.follow(ctx, t, "n", seed, asked(n))
+					f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
 					time.Sleep(20 * time.Second)
-					took = append(took, f.whole(born.Add(-1)).Sub(born))
-					if !intime(took[seed], toldAfter) || n == 1 && m == lists && took[seed] > 10*ms {
+					took = append(took, f.firstFullListAfter(born.Add(-1)).Sub(born))
+					if !leavesTimeForSecondCall(took[seed], notifyDeadline) || n == 1 && m == answersList && took[seed] > 10*ms {
 						t.Errorf("%d nodes, %s, seed %d: the list came after %v", n, name, seed, took[seed])
 					}
 				})
--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/restart_drain_test.go
@@ -19,16 +19,16 @@
 )
 
 // answerAfter is how long next hops take to answer a line; what hangs answers none.
-var answerAfter = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
+var answerDelays = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
 
 // restarted is a node on pipes whose next hops answer each in its own time.
-type restarted struct {
-	talk  *talk
-	parts sync.WaitGroup
+type restartTest struct {
+	transcript *transcript
+	goroutines sync.WaitGroup
 }
 
 // hop serves one connection of a next hop.
-func (r *restarted) hop(how string, conn net.Conn) {
+func (r *restartTest) serveUpstream(how string, conn net.Conn) {
 	defer conn.Close()
 	id, said := "", 0
 	var out sync.Mutex
@@ -37,7 +37,7 @@
 		defer out.Unlock()
 		if _, err := fmt.Fprintf(conn, "line %d\r\n", said+1); err == nil {
 			said++
-			r.talk.says(id, "down", said)
+			r.transcript.recordSent(id, "down", said)
 		}
 	}
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
@@ -50,10 +50,10 @@
 			fmt.Fprint(conn, "UP r1\r\n")
 		default:
 			_, _ = fmt.Sscanf(rest, "%d", &n)
-			r.talk.hears(id, "up", n)
+			r.transcript.recordReceived(id, "up", n)
 			if how != "hung" {
-				r.parts.Go(func() {
-					time.Sleep(answerAfter[how])
+				r.goroutines.Go(func() {
+					time.Sleep(answerDelays[how])
 					say()
 				})
 			}
@@ -62,7 +62,7 @@
 }
 
 // client opens a connection and sends on it, answered or not, for as long as it stands.
-func (r *restarted) client(id string, conn net.Conn) {
+func (r *restartTest) runClient(id string, conn net.Conn) {
 	defer conn.Close()
 	fmt.Fprintf(conn, "OPEN %s k%s c=feed,d=1000\r\n", id, id)
 	lines := bufio.NewScanner(conn)
@@ -70,12 +70,12 @@
 		return // it never stood, and is found to have had no MOVE
 	}
 	moved := make(chan struct{})
-	r.parts.Go(func() {
+	r.goroutines.Go(func() {
 		for n := 1; ; n++ {
 			if _, err := fmt.Fprintf(conn, "line %d\r\n", n); err != nil {
 				return
 			}
-			r.talk.says(id, "up", n)
+			r.transcript.recordSent(id, "up", n)
 			select {
 			case <-moved:
 				return
@@ -86,56 +86,56 @@
 	for lines.Scan() {
 		n := 0
 		if lines.Text() == "MOVE" {
-			r.talk.note(r.talk.moved, id)
+			r.transcript.recordTime(r.transcript.movedAt, id)
 			close(moved)
 			time.Sleep(30 * ms) // what else it has sent is read meanwhile
 			return
 		}
 		_, _ = fmt.Sscanf(lines.Text(), "line %d", &n)
-		r.talk.hears(id, "down", n)
+		r.transcript.recordReceived(id, "down", n)
 	}
-	r.talk.note(r.talk.ended, id)
+	r.transcript.recordTime(r.transcript.endedAt, id)
 }
 
 // A planned restart while clients go on sending: until a connection is told to MOVE it has
 // all its lines, both ways, also where its next hop answers late; and none ends without
 // MOVE, also where it does not answer at all.
-func TestRestartLosesNothing(t *testing.T) {
+func TestGracefulRestartLosesNoLines(t *testing.T) {
 	for _, longest := range []time.Duration{1200 * ms, 3 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				r := &restarted{talk: newTalk()}
-				door := listener{make(chan net.Conn), make(chan struct{})}
-				hops := upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
+				r := &restartTest{transcript: newTranscript()}
+				door := pipeListener{make(chan net.Conn), make(chan struct{})}
+				hops := upstream.New(ctx, upstream.Limits{ConnectTimeout: connectTimeout, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
 				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 					near, far := net.Pipe()
-					r.parts.Go(func() { r.hop(addr, far) })
+					r.goroutines.Go(func() { r.serveUpstream(addr, far) })
 					return near, nil
 				}
-				set := asked(1)
+				set := pollSettings(1)
 				set.LoadReporting.InProbeResults, set.Limits.ProbesAllowed = true, true
-				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noRoster{})
+				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noDiscovery{})
 				if err != nil {
 					t.Fatal(err)
 				}
 				hops.SetObserver(core)
 				server := downstream.New(core, hops, downstream.Limits{Sockets: 1000})
-				r.parts.Go(func() { core.Run(ctx) })
+				r.goroutines.Go(func() { core.Run(ctx) })
 				u := discovery.Update{Kind: balance.ListFull}
-				for how := range answerAfter {
+				for how := range answerDelays {
 					u.Endpoints = append(u.Endpoints, discovery.Endpoint{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
 				}
 				hops.Update(true, u.Endpoints, time.Now())
 				core.UpdateEndpoints(u.ListUpdate())
-				r.parts.Go(func() { _ = server.Serve(door) })
+				r.goroutines.Go(func() { _ = server.Serve(door) })
 				var callers []string
 				for i := range 60 {
 					id := fmt.Sprint("c", i)
 					callers = append(callers, id)
 					near, far := net.Pipe()
 					door.conns <- near
-					r.parts.Go(func() { r.client(id, far) })
+					r.goroutines.Go(func() { r.runClient(id, far) })
 					time.Sleep(10 * ms)
 				}
 				begun := time.Now() // as SIGTERM does it
@@ -146,12 +146,12 @@
 				_ = door.Close()
 				server.Close()
 				cancel()
-				r.parts.Wait()
-				for _, wrong := range r.talk.broken(callers) {
+				r.goroutines.Wait()
+				for _, wrong := range r.transcript.findLosses(callers) {
 					t.Error(wrong)
 				}
-				if len(r.talk.heard) < 1000 {
-					t.Errorf("only %d lines were passed on", len(r.talk.heard))
+				if len(r.transcript.received) < 1000 {
+					t.Errorf("only %d lines were passed on", len(r.transcript.received))
 				}
 			})
 		})
--- a/internal/refmodel/rules_test.go
+++ b/internal/refmodel/rules_test.go
@@ -10,7 +10,7 @@
 const ms = time.Millisecond
 
 // Each rule's break is caught, and what only comes near one is not.
-func TestBreaksAreCaught(t *testing.T) {
+func TestCheckerReportsViolations(t *testing.T) {
 	terms := Rules{MaxAttempts: 2, DrainGrace: 300 * ms, NotifyDelay: 6 * time.Second, SlowStartDuration: 10 * time.Second, SlowStartShare: 0.2, ServerRate: 10, OverloadMultiple: 3,
 		OverloadWindow: time.Second, PromptLimit: ms}
 	anyZone := Retries{}
@@ -95,38 +95,38 @@
 			b.NodeNotified(200*ms, "a", Ready, 0)
 			b.AttemptSent(900*ms, "r", "a")
 		}, ""},
-		{"within a cold budget, and chance", func(b *Checker) { burst(b, ms, 15, time.Second) }, ""},
-		{"over a cold budget, and chance", func(b *Checker) { burst(b, ms, 16, time.Second) }, "rule 4"},
-		{"the same in two windows", func(b *Checker) { burst(b, ms, 24, 2*time.Second) }, ""},
-		{"within a cold budget", func(b *Checker) { b.terms.ChanceAllowance = 0.01; burst(b, ms, 7, time.Second) }, ""},
-		{"over a cold budget", func(b *Checker) { b.terms.ChanceAllowance = 0.01; burst(b, ms, 9, time.Second) }, "rule 4"},
-		{"chance grows with the root alone", func(b *Checker) { b.terms.ServerRate = 100; burst(b, ms, 98, time.Second) }, ""},
-		{"of a hundred it is a fifth", func(b *Checker) { b.terms.ServerRate = 100; burst(b, ms, 109, time.Second) }, "rule 4"},
+		{"within a cold budget, and chance", func(b *Checker) { sendBurst(b, ms, 15, time.Second) }, ""},
+		{"over a cold budget, and chance", func(b *Checker) { sendBurst(b, ms, 16, time.Second) }, "rule 4"},
+		{"the same in two windows", func(b *Checker) { sendBurst(b, ms, 24, 2*time.Second) }, ""},
+		{"within a cold budget", func(b *Checker) { b.terms.ChanceAllowance = 0.01; sendBurst(b, ms, 7, time.Second) }, ""},
+		{"over a cold budget", func(b *Checker) { b.terms.ChanceAllowance = 0.01; sendBurst(b, ms, 9, time.Second) }, "rule 4"},
+		{"chance grows with the root alone", func(b *Checker) { b.terms.ServerRate = 100; sendBurst(b, ms, 98, time.Second) }, ""},
+		{"of a hundred it is a fifth", func(b *Checker) { b.terms.ServerRate = 100; sendBurst(b, ms, 109, time.Second) }, "rule 4"},
 		{"a process that discovery told of", func(b *Checker) {
 			b.NodeNotified(0, "c", Ready, 0)
 			b.ServerChanged(ms, "c", Ready, 6*time.Second)
-			burst(b, 6001*ms, 16, time.Second)
+			sendBurst(b, 6001*ms, 16, time.Second)
 		}, "rule 4"},
 		{"an older list of it that came after", func(b *Checker) {
 			b.NodeNotified(0, "c", Ready, 0)
 			b.ServerChanged(ms, "c", Ready, 6*time.Second)
-			burst(b, 6001*ms, 8, 500*ms)
+			sendBurst(b, 6001*ms, 8, 500*ms)
 			b.NodeNotified(6501*ms, "c", Ready, 0)
-			burst(b, 6501*ms, 8, 500*ms)
+			sendBurst(b, 6501*ms, 8, 500*ms)
 		}, "rule 4"},
 		{"a process that it has not told of", func(b *Checker) {
 			b.NodeNotified(0, "c", Ready, 0)
 			b.ServerChanged(ms, "c", Ready, ms)
-			burst(b, 4*time.Second, 40, time.Second)
+			sendBurst(b, 4*time.Second, 40, time.Second)
 		}, ""},
 		{"a change that never came, just in time", func(b *Checker) {
 			b.ServerChanged(0, "a", Draining, 0)
-			ask(b, "k", 6*time.Second)
+			answerAndAskAgain(b, "k", 6*time.Second)
 			b.AttemptSent(6300*ms, "k", "a")
 		}, ""},
 		{"a change that never came", func(b *Checker) {
 			b.ServerChanged(0, "a", Draining, 0)
-			ask(b, "k", 6*time.Second)
+			answerAndAskAgain(b, "k", 6*time.Second)
 			b.AttemptSent(6301*ms, "k", "a")
 		}, "rule 3"},
 		{"a change that came before", func(b *Checker) {
@@ -136,7 +136,7 @@
 		}, "rule 3"},
 		{"a change that came too late", func(b *Checker) {
 			b.ServerChanged(0, "a", Draining, 0)
-			ask(b, "k", 6200*ms)
+			answerAndAskAgain(b, "k", 6200*ms)
 			b.NodeNotified(6200*ms, "a", Draining, 0)
 			b.AttemptSent(6301*ms, "k", "a")
 		}, "rule 3"},
@@ -144,19 +144,19 @@
 			b.ServerChanged(0, "a", Draining, 0)
 			b.NodeNotified(ms, "a", Draining, 0)
 			b.NodeNotified(2*ms, "a", Ready, 0)
-			ask(b, "k", 6*time.Second)
+			answerAndAskAgain(b, "k", 6*time.Second)
 			b.AttemptSent(6301*ms, "k", "a")
 		}, "rule 3"},
 		{"the first of two changes counts", func(b *Checker) {
 			b.ServerChanged(0, "a", Draining, 0)
 			b.ServerChanged(time.Second, "a", Gone, 0)
-			ask(b, "k", 6*time.Second)
+			answerAndAskAgain(b, "k", 6*time.Second)
 			b.AttemptSent(6301*ms, "k", "a")
 		}, "rule 3"},
 		{"a change that was taken back", func(b *Checker) {
 			b.ServerChanged(0, "a", Draining, 0)
 			b.ServerChanged(time.Second, "a", Ready, 0)
-			ask(b, "k", 6*time.Second)
+			answerAndAskAgain(b, "k", 6*time.Second)
 			b.AttemptSent(6500*ms, "k", "a")
 		}, ""},
 		{"a pushed change, just in time", func(b *Checker) {
@@ -212,9 +212,17 @@
 			b.AttemptEnded(50*ms, "k", MayRun)
 			b.CheckDeadlines(102 * ms)
 		}, "rule 5"},
-		{"its window is over: within a tick", func(b *Checker) { window(b, 99*ms); b.CheckDeadlines(105 * ms); b.RequestAnswered(105*ms, "k", Failed) }, ""},
-		{"given up and kept: a tick after its window", func(b *Checker) { window(b, 99*ms); b.CheckDeadlines(100 * ms); b.CheckDeadlines(106 * ms) }, "rule 5"},
-		{"given up and kept: a tick after it ended", func(b *Checker) { window(b, 101*ms); b.CheckDeadlines(103 * ms) }, "rule 5"},
+		{"its window is over: within a tick", func(b *Checker) {
+			endWithinRetryWindow(b, 99*ms)
+			b.CheckDeadlines(105 * ms)
+			b.RequestAnswered(105*ms, "k", Failed)
+		}, ""},
+		{"given up and kept: a tick after its window", func(b *Checker) {
+			endWithinRetryWindow(b, 99*ms)
+			b.CheckDeadlines(100 * ms)
+			b.CheckDeadlines(106 * ms)
+		}, "rule 5"},
+		{"given up and kept: a tick after it ended", func(b *Checker) { endWithinRetryWindow(b, 101*ms); b.CheckDeadlines(103 * ms) }, "rule 5"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -236,13 +244,13 @@
 }
 
 // ask asks anew, as what was asked at the start is due before changes count as told.
-func ask(b *Checker, id string, now time.Duration) {
+func answerAndAskAgain(b *Checker, id string, now time.Duration) {
 	b.RequestAnswered(0, "r", Refused)
 	b.RequestArrived(now, id, now+time.Second, Retries{})
 }
 
 // window has a request end that may be repeated for 100 ms, where ticks are 4 ms.
-func window(b *Checker, at time.Duration) {
+func endWithinRetryWindow(b *Checker, at time.Duration) {
 	b.terms.Tick = 4 * ms
 	b.RequestArrived(0, "k", time.Second, Retries{Within: 100 * ms})
 	b.AttemptSent(0, "k", "a")
@@ -251,7 +259,7 @@
 
 // burst sends n requests to a server that has started at a time, evenly within another. If
 // it is known by then, it is the same process for all that word has.
-func burst(b *Checker, from time.Duration, n int, within time.Duration) {
+func sendBurst(b *Checker, from time.Duration, n int, within time.Duration) {
 	if len(b.Unanswered()) > 0 {
 		b.RequestAnswered(0, "r", Refused)
 	}
--- a/internal/refmodel/scene_client_test.go
+++ b/internal/refmodel/scene_client_test.go
@@ -24,7 +24,7 @@
 }
 
 // repeats is what the book has to know of a class.
-func (s *scene) repeats(c balance.Class) refmodel.Retries {
+func (s *simulation) retriesOf(c balance.Class) refmodel.Retries {
 	r := refmodel.Retries{Forbidden: c.Idempotency == balance.NonIdempotent}
 	if c.Idempotency != balance.IdempotencyKeyed {
 		return r
@@ -32,34 +32,34 @@
 	r.Within = c.KeyWindow
 	switch c.KeyScope { // where a server is never changes
 	case balance.ScopeZone:
-		r.AllowedOn = func(ran, to string) bool { return s.feeds[ran].entry.Zone == s.feeds[to].entry.Zone }
+		r.AllowedOn = func(ran, to string) bool { return s.servers[ran].endpoint.Zone == s.servers[to].endpoint.Zone }
 	case balance.ScopeCell:
-		r.AllowedOn = func(ran, to string) bool { return s.feeds[ran].entry.Cell == s.feeds[to].entry.Cell }
+		r.AllowedOn = func(ran, to string) bool { return s.servers[ran].endpoint.Cell == s.servers[to].endpoint.Cell }
 	}
 	return r
 }
 
 // client is one request, as its client sees it.
-func (s *scene) client(leaves bool) {
+func (s *simulation) runClient(leaves bool) {
 	s.mu.Lock()
-	s.ids++
-	id := fmt.Sprint("r", s.ids)
+	s.lastID++
+	id := fmt.Sprint("r", s.lastID)
 	class := classes[0]
 	if s.rng.IntN(2) == 0 {
 		class = classes[1+s.rng.IntN(len(classes)-1)]
 	}
 	s.mu.Unlock()
-	wait := 200*ms + s.upTo(800*ms)
+	wait := 200*ms + s.randomDuration(800*ms)
 	near, far := net.Pipe()
 	defer far.Close()
-	s.note(func(b *refmodel.Checker, now time.Duration) { b.RequestArrived(now, id, now+wait, s.repeats(class)) })
-	s.front <- &handle{Conn: near}
+	s.record(func(b *refmodel.Checker, now time.Duration) { b.RequestArrived(now, id, now+wait, s.retriesOf(class)) })
+	s.clientConns <- &sharedConn{Conn: near}
 	if _, err := fmt.Fprintf(far, "OPEN %s k c=%s,d=%d\r\n", id, class.Name, wait.Milliseconds()); err != nil {
 		s.t.Errorf("%s: %v", id, err)
 	}
 	if leaves {
-		gone := time.AfterFunc(s.upTo(100*ms), func() {
-			s.note(func(b *refmodel.Checker, now time.Duration) { b.ClientLeft(now, id) })
+		gone := time.AfterFunc(s.randomDuration(100*ms), func() {
+			s.record(func(b *refmodel.Checker, now time.Duration) { b.ClientLeft(now, id) })
 			far.Close()
 		})
 		defer gone.Stop()
@@ -67,7 +67,7 @@
 	standing := false
 	defer func() {
 		s.mu.Lock()
-		delete(s.up, id)
+		delete(s.openSince, id)
 		s.mu.Unlock()
 	}()
 	for lines := bufio.NewScanner(far); lines.Scan(); {
@@ -78,36 +78,36 @@
 			}
 			if lines.Text() == "yes" {
 				time.Sleep(300 * ms)
-				s.say(far)
+				s.sendLine(far)
 			}
 		case word == "UP":
 			standing = true
 			s.mu.Lock()
-			s.up[id] = time.Now()
+			s.openSince[id] = time.Now()
 			s.mu.Unlock()
-			s.answered(id, class.Name, "served", refmodel.Served)
-			s.say(far)
+			s.recordAnswer(id, class.Name, "served", refmodel.Served)
+			s.sendLine(far)
 		case word == "BUSY":
-			s.answered(id, class.Name, "refused", refmodel.Refused)
+			s.recordAnswer(id, class.Name, "refused", refmodel.Refused)
 		default:
-			s.answered(id, class.Name, "failed", refmodel.Failed)
+			s.recordAnswer(id, class.Name, "failed", refmodel.Failed)
 		}
 	}
 }
 
 // say writes a client's line. It is read to meanwhile, as sockets have buffers and pipes
 // have not.
-func (s *scene) say(far net.Conn) {
-	s.ends.Go(func() {
+func (s *simulation) sendLine(far net.Conn) {
+	s.background.Go(func() {
 		_ = far.SetWriteDeadline(time.Now().Add(time.Second))
 		fmt.Fprintf(far, "are you there\r\n")
 	})
 }
 
-func (s *scene) answered(id, class, how string, a refmodel.Answer) {
-	s.note(func(b *refmodel.Checker, now time.Duration) {
+func (s *simulation) recordAnswer(id, class, how string, a refmodel.Answer) {
+	s.record(func(b *refmodel.Checker, now time.Duration) {
 		b.RequestAnswered(now, id, a)
-		s.over[how]++
-		s.byClass[class+how]++
+		s.answers[how]++
+		s.answersByClass[class+how]++
 	})
 }
--- a/internal/refmodel/scene_discovery_test.go
+++ b/internal/refmodel/scene_discovery_test.go
@@ -18,28 +18,28 @@
 )
 
 // board is discovery. Its fields are under the scene's lock.
-type board struct {
-	s       *scene
-	watches map[net.Conn]chan string // those that are told of changes
-	hushed  time.Time                // when all fell silent last
-	spoilt  bool                     // its last call was: of two in a row one is answered
-	lists   int                      // whole lists told
+type simDiscovery struct {
+	sim            *simulation
+	watches        map[net.Conn]chan string // those that are told of changes
+	silencedAt     time.Time                // when all fell silent last
+	lastCallFailed bool                     // its last call was: of two in a row one is answered
+	fullLists      int                      // whole lists told
 }
 
 // hush has all watches fall silent, unless they just did.
-func (d *board) hush() bool {
-	d.s.mu.Lock()
-	defer d.s.mu.Unlock()
-	if time.Since(d.hushed) < 8*time.Second {
+func (d *simDiscovery) silenceWatches() bool {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
+	if time.Since(d.silencedAt) < 8*time.Second {
 		return false
 	}
-	d.hushed = time.Now()
+	d.silencedAt = time.Now()
 	clear(d.watches)
 	return true
 }
 
 // instances words entries as discovery has them.
-func instances(entries ...discovery.Endpoint) string {
+func marshalInstances(entries ...discovery.Endpoint) string {
 	var list []string
 	for _, e := range entries {
 		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,"lifecycle":%q,"startedAtMs":%d}`,
@@ -49,17 +49,17 @@
 }
 
 // changed has the watches told of changes.
-func (d *board) changed(entries ...discovery.Endpoint) {
-	d.s.mu.Lock()
-	defer d.s.mu.Unlock()
+func (d *simDiscovery) broadcast(entries ...discovery.Endpoint) {
+	d.sim.mu.Lock()
+	defer d.sim.mu.Unlock()
 	for _, w := range d.watches {
-		w <- fmt.Sprintf(`{"generation":2,"instances":[%s]}`+"\n", instances(entries...))
+		w <- fmt.Sprintf(`{"generation":2,"instances":[%s]}`+"\n", marshalInstances(entries...))
 	}
 }
 
-func (d *board) dial(context.Context, string, time.Time) (net.Conn, error) {
+func (d *simDiscovery) dial(context.Context, string, time.Time) (net.Conn, error) {
 	near, far := net.Pipe()
-	d.s.ends.Go(func() {
+	d.sim.background.Go(func() {
 		defer far.Close()
 		r := bufio.NewReader(far)
 		for line := ""; line != "\r\n"; {
@@ -68,18 +68,18 @@
 				return
 			}
 		}
-		d.answer(far)
+		d.serveWatch(far)
 		_, _ = io.Copy(io.Discard, r) // silent until the node has enough of it
 	})
 	return near, nil
 }
 
 // answer takes a call, and then tells of changes until the watch falls silent.
-func (d *board) answer(far net.Conn) {
-	d.s.mu.Lock()
-	if d.spoilt = !d.spoilt && d.s.rng.IntN(3) == 0; d.spoilt {
-		hangs := d.s.rng.IntN(2) == 0
-		d.s.mu.Unlock()
+func (d *simDiscovery) serveWatch(far net.Conn) {
+	d.sim.mu.Lock()
+	if d.lastCallFailed = !d.lastCallFailed && d.sim.rng.IntN(3) == 0; d.lastCallFailed {
+		hangs := d.sim.rng.IntN(2) == 0
+		d.sim.mu.Unlock()
 		if !hangs {
 			fmt.Fprint(far, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 			far.Close()
@@ -87,23 +87,23 @@
 		return
 	}
 	var all []discovery.Endpoint
-	for _, f := range d.s.feeds {
-		all = append(all, f.entry)
+	for _, f := range d.sim.servers {
+		all = append(all, f.endpoint)
 	}
 	changes := make(chan string, 1000)
 	d.watches[far] = changes
-	d.lists++
-	d.s.mu.Unlock()
+	d.fullLists++
+	d.sim.mu.Unlock()
 	defer func() {
-		d.s.mu.Lock()
+		d.sim.mu.Lock()
 		delete(d.watches, far)
-		d.s.mu.Unlock()
+		d.sim.mu.Unlock()
 	}()
-	word := fmt.Sprintf("HTTP/1.1 200 OK\r\n\r\n"+`{"generation":1,"reset":true,"instances":[%s]}`+"\n", instances(all...))
+	word := fmt.Sprintf("HTTP/1.1 200 OK\r\n\r\n"+`{"generation":1,"reset":true,"instances":[%s]}`+"\n", marshalInstances(all...))
 	for {
-		d.s.mu.Lock()
+		d.sim.mu.Lock()
 		silent := d.watches[far] == nil
-		d.s.mu.Unlock()
+		d.sim.mu.Unlock()
 		if silent {
 			return
 		}
@@ -119,19 +119,19 @@
 }
 
 // sink is how a node takes what discovery tells it: into the book first.
-type sink struct {
-	s *scene
-	n *node
+type endpointSink struct {
+	sim     *simulation
+	process *process
 }
 
-func (k sink) UpdateEndpoints(u discovery.Update) {
+func (k endpointSink) UpdateEndpoints(u discovery.Update) {
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
-		k.s.note(func(b *refmodel.Checker, now time.Duration) {
+		k.sim.record(func(b *refmodel.Checker, now time.Duration) {
 			for _, e := range u.Endpoints {
 				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), 0)
 			}
 		})
-		k.n.hops.Update(u.Kind == balance.ListFull, u.Endpoints, time.Now())
+		k.process.pool.Update(u.Kind == balance.ListFull, u.Endpoints, time.Now())
 	}
-	k.n.core.UpdateEndpoints(u.ListUpdate())
+	k.process.eventLoop.UpdateEndpoints(u.ListUpdate())
 }
--- a/internal/refmodel/scene_feed_test.go
+++ b/internal/refmodel/scene_feed_test.go
@@ -16,43 +16,43 @@
 )
 
 // feed is a feed server as the scene has it.
-type feed struct {
-	id    string
-	conns map[net.Conn]bool // that stand
-	entry discovery.Endpoint
+type simServer struct {
+	id       string
+	conns    map[net.Conn]bool // that stand
+	endpoint discovery.Endpoint
 }
 
 // attempt is the node's end of a connection to a feed server. An attempt is out until
 // its server has answered or the node has closed it.
 type attempt struct {
 	net.Conn
-	s    *scene
-	id   string // under the lock; empty until its first line has come, or if it probes
-	done bool
+	sim      *simulation
+	id       string // under the lock; empty until its first line has come, or if it probes
+	finished bool
 }
 
 // over notes the attempt's end, once.
-func (a *attempt) over(how refmodel.AttemptOutcome) {
-	a.s.note(func(b *refmodel.Checker, now time.Duration) {
-		if a.id != "" && !a.done {
-			a.done = true
+func (a *attempt) finish(how refmodel.AttemptOutcome) {
+	a.sim.record(func(b *refmodel.Checker, now time.Duration) {
+		if a.id != "" && !a.finished {
+			a.finished = true
 			b.AttemptEnded(now, a.id, how)
 		}
 	})
 }
 
 func (a *attempt) Close() error {
-	a.over(refmodel.NoReply)
+	a.finish(refmodel.NoReply)
 	return a.Conn.Close()
 }
 
 var errRefused = errors.New("connection refused")
 
-func (s *scene) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+func (s *simulation) dialServer(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	switch {
-	case !s.kind.full() && s.chance(0.06):
+	case !s.faults.isFullFleet() && s.chance(0.06):
 		return nil, errRefused
-	case s.kind == hanging && s.chance(0.05): // nothing comes back
+	case s.faults == hangingConnects && s.chance(0.05): // nothing comes back
 		late := time.NewTimer(time.Until(deadline))
 		defer late.Stop()
 		select {
@@ -60,8 +60,8 @@
 		case <-late.C:
 		}
 		return nil, context.DeadlineExceeded
-	case s.kind == late && s.chance(0.4):
-		up := s.upTo(connect - ms)
+	case s.faults == lateConnects && s.chance(0.4):
+		up := s.randomDuration(connectTimeout - ms)
 		late := time.NewTimer(min(up, time.Until(deadline)))
 		defer late.Stop()
 		select {
@@ -75,29 +75,29 @@
 	}
 	server, _, _ := strings.Cut(addr, ":")
 	near, far := net.Pipe()
-	a := &attempt{Conn: near, s: s}
-	s.ends.Go(func() { s.serve(server, far, a) })
-	return &handle{Conn: a}, nil
+	a := &attempt{Conn: near, sim: s}
+	s.background.Go(func() { s.serveConn(server, far, a) })
+	return &sharedConn{Conn: a}, nil
 }
 
 // serve is a feed server's side of one connection.
-func (s *scene) serve(server string, conn net.Conn, a *attempt) {
+func (s *simulation) serveConn(server string, conn net.Conn, a *attempt) {
 	defer conn.Close()
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
 		text := lines.Text()
 		switch word, rest, _ := strings.Cut(text, " "); word {
 		case "STATS":
-			if !s.report(server, conn) {
+			if !s.answerLoadProbe(server, conn) {
 				return
 			}
 		case "OPEN":
 			id, _, _ := strings.Cut(rest, " ")
-			s.note(func(b *refmodel.Checker, now time.Duration) {
+			s.record(func(b *refmodel.Checker, now time.Duration) {
 				a.id = id
-				s.sent++
+				s.attemptsRead++
 				b.AttemptSent(now, id, server)
 			})
-			if !s.open(server, conn, a) {
+			if !s.answerOpen(server, conn, a) {
 				return
 			}
 		default:
@@ -107,11 +107,11 @@
 }
 
 // report answers a probe, now and then late, never, or with what can't be true.
-func (s *scene) report(server string, conn net.Conn) bool {
+func (s *simulation) answerLoadProbe(server string, conn net.Conn) bool {
 	s.mu.Lock()
-	conns := len(s.feeds[server].conns)
+	conns := len(s.servers[server].conns)
 	s.mu.Unlock()
-	x0 := fmt.Sprint(float64(conns) / s.room)
+	x0 := fmt.Sprint(float64(conns) / s.capacity)
 	switch {
 	case s.chance(0.05):
 		time.Sleep(600 * ms)
@@ -120,26 +120,26 @@
 	case s.chance(0.05):
 		x0 = "18446744073709551615"
 	}
-	time.Sleep(s.upTo(4 * ms))
+	time.Sleep(s.randomDuration(4 * ms))
 	_, err := fmt.Fprintf(conn, "PONG outstanding=%d,x0=%s,recent_ms=2\r\n", conns, x0)
 	return err == nil
 }
 
 // open answers a first line, and serves what then stands. It is false at its end.
-func (s *scene) open(server string, conn net.Conn, a *attempt) bool {
-	time.Sleep(s.upTo(60 * ms))
+func (s *simulation) answerOpen(server string, conn net.Conn, a *attempt) bool {
+	time.Sleep(s.randomDuration(60 * ms))
 	switch {
-	case s.kind.full(): // all that it is sent, which is the point
+	case s.faults.isFullFleet(): // all that it is sent, which is the point
 	case s.chance(0.12):
-		a.over(refmodel.NotRun)
+		a.finish(refmodel.NotRun)
 		fmt.Fprintf(conn, "BUSY\r\n")
 		return false
-	case s.chance(0.06), s.kind == late && s.chance(0.2):
-		a.over(refmodel.MayRun)
+	case s.chance(0.06), s.faults == lateConnects && s.chance(0.2):
+		a.finish(refmodel.MayRun)
 		fmt.Fprintf(conn, "ERR\r\n")
 		return false
 	case s.chance(0.05):
-		a.over(refmodel.NoReply)
+		a.finish(refmodel.NoReply)
 		return false
 	case s.chance(0.05): // hangs until the node has enough of it
 		_, _ = conn.Read(make([]byte, 1))
@@ -149,10 +149,10 @@
 		return false
 	}
 	s.mu.Lock()
-	s.feeds[server].conns[conn] = true
+	s.servers[server].conns[conn] = true
 	s.mu.Unlock()
-	lasts := ms + s.upTo(2*life) // its client has noted the answer by then
-	s.ends.Go(func() {           // its end, unless the other side's comes before
+	lasts := ms + s.randomDuration(2*meanConnLifetime) // its client has noted the answer by then
+	s.background.Go(func() {                           // its end, unless the other side's comes before
 		time.Sleep(lasts)
 		if s.chance(0.5) {
 			_ = conn.SetWriteDeadline(time.Now().Add(ms))
@@ -160,7 +160,7 @@
 		}
 		conn.Close()
 		s.mu.Lock()
-		delete(s.feeds[server].conns, conn)
+		delete(s.servers[server].conns, conn)
 		s.mu.Unlock()
 	})
 	return true
--- a/internal/refmodel/scene_list_test.go
+++ b/internal/refmodel/scene_list_test.go
@@ -14,115 +14,115 @@
 	"coralrelay/internal/refmodel"
 )
 
-func (s *scene) tell(kind balance.ListKind, entries ...discovery.Endpoint) {
-	s.note(func(b *refmodel.Checker, now time.Duration) {
+func (s *simulation) publish(kind balance.ListKind, entries ...discovery.Endpoint) {
+	s.record(func(b *refmodel.Checker, now time.Duration) {
 		for _, e := range entries {
 			started := e.StartedAt
 			if started > 0 { // on the book's clock
-				started -= time.Duration(s.begun.UnixNano())
+				started -= time.Duration(s.startedAt.UnixNano())
 			}
-			if s.kind == silent {
+			if s.faults == silentWatches {
 				b.ServerChanged(now, e.ID, refmodel.ServerState(e.State), started)
 			} else {
 				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), started)
 			}
 		}
 	})
-	if s.kind == silent {
-		s.board.changed(entries...)
+	if s.faults == silentWatches {
+		s.discovery.broadcast(entries...)
 		return
 	}
 	s.mu.Lock()
-	nodes := slices.Clone(s.nodes)
+	nodes := slices.Clone(s.processes)
 	s.mu.Unlock()
 	for _, n := range nodes {
-		n.tell(kind, entries)
+		n.updateEndpoints(kind, entries)
 	}
 }
 
 // operate has operators empty the node, for as long as it takes or shorter, and bring it
 // back. What stood when it was emptied must be told to go within the plan.
-func (s *scene) operate() {
-	if !s.operators.TryLock() {
+func (s *simulation) drainAndRejoin() {
+	if !s.operatorLock.TryLock() {
 		return
 	}
-	defer s.operators.Unlock()
+	defer s.operatorLock.Unlock()
 	now := time.Now()
-	s.node.server.LameDuck(downstream.DrainPlan{RejectAt: now.Add(600 * ms), MoveStartAt: now.Add(300 * ms), MoveEndAt: now.Add(1500 * ms), EndAt: now.Add(time.Hour)})
-	if s.node.server.AcceptsClients() {
+	s.process.server.LameDuck(downstream.DrainPlan{RejectAt: now.Add(600 * ms), MoveStartAt: now.Add(300 * ms), MoveEndAt: now.Add(1500 * ms), EndAt: now.Add(time.Hour)})
+	if s.process.server.AcceptsClients() {
 		s.t.Error("it takes clients while it is emptied")
 	}
 	if s.chance(0.5) {
-		time.Sleep(s.upTo(time.Second)) // in the middle of it
-		s.node.server.Rejoin()
-		s.node.server.Rejoin()
+		time.Sleep(s.randomDuration(time.Second)) // in the middle of it
+		s.process.server.Rejoin()
+		s.process.server.Rejoin()
 	} else {
-		s.node.server.LameDuck(downstream.DrainPlan{}) // changes nothing
+		s.process.server.LameDuck(downstream.DrainPlan{}) // changes nothing
 		time.Sleep(2 * time.Second)
 		s.mu.Lock()
-		for id, since := range s.up {
+		for id, since := range s.openSince {
 			if since.Before(now) {
-				s.t.Errorf("%s stands since %v and was not told to go", id, since.Sub(s.begun))
+				s.t.Errorf("%s stands since %v and was not told to go", id, since.Sub(s.startedAt))
 			}
 		}
 		s.mu.Unlock()
-		s.node.server.Rejoin()
+		s.process.server.Rejoin()
 	}
-	if !s.node.server.AcceptsClients() {
+	if !s.process.server.AcceptsClients() {
 		s.t.Error("it takes no clients after the drain")
 	}
 }
 
 // retune changes how many attempts are allowed.
-func (s *scene) retune() {
+func (s *simulation) changeSettings() {
 	s.mu.Lock()
-	s.set.Limits.MaxAttempts = 1 + s.rng.IntN(4)
-	set := s.set
+	s.settings.Limits.MaxAttempts = 1 + s.rng.IntN(4)
+	set := s.settings
 	s.mu.Unlock()
-	s.node.core.UpdateSettings(set)
+	s.process.eventLoop.UpdateSettings(set)
 	synctest.Wait() // it is in force
-	s.note(func(b *refmodel.Checker, now time.Duration) { b.SettingsChanged(now, set.Limits.MaxAttempts) })
+	s.record(func(b *refmodel.Checker, now time.Duration) { b.SettingsChanged(now, set.Limits.MaxAttempts) })
 }
 
 // trouble changes one server's state: it drains, goes, comes back as it was or as a
 // new process.
-func (s *scene) trouble() {
+func (s *simulation) changeRandomServer() {
 	s.mu.Lock()
-	f := s.feeds[fmt.Sprint("s", s.rng.IntN(len(s.feeds)))]
-	e := &f.entry
+	f := s.servers[fmt.Sprint("s", s.rng.IntN(len(s.servers)))]
+	e := &f.endpoint
 	e.State = []balance.ServerState{balance.Ready, balance.Ready, balance.Ready, balance.Draining, balance.Gone}[s.rng.IntN(5)]
 	if e.State == balance.Ready && s.rng.IntN(10) == 0 {
 		e.StartedAt = time.Duration(time.Now().UnixNano())
 	}
 	told := *e
 	s.mu.Unlock()
-	s.tell(balance.ListDelta, told)
+	s.publish(balance.ListDelta, told)
 }
 
 // drain has a server drain that is ready, if one is.
-func (s *scene) drain() {
+func (s *simulation) drainReadyServer() {
 	s.mu.Lock()
 	var told []discovery.Endpoint
-	for i := range len(s.feeds) {
-		if f := s.feeds[fmt.Sprint("s", i)]; f.entry.State == balance.Ready && len(told) == 0 {
-			f.entry.State = balance.Draining
-			told = append(told, f.entry)
+	for i := range len(s.servers) {
+		if f := s.servers[fmt.Sprint("s", i)]; f.endpoint.State == balance.Ready && len(told) == 0 {
+			f.endpoint.State = balance.Draining
+			told = append(told, f.endpoint)
 		}
 	}
 	s.mu.Unlock()
-	s.tell(balance.ListDelta, told...)
+	s.publish(balance.ListDelta, told...)
 }
 
 // restart has a server's process end, with all that it holds, and another start.
-func (s *scene) restart(id string) {
+func (s *simulation) restartServer(id string) {
 	s.mu.Lock()
-	f := s.feeds[id]
+	f := s.servers[id]
 	for conn := range f.conns {
 		conn.Close()
 	}
 	clear(f.conns)
-	f.entry.StartedAt = time.Duration(time.Now().UnixNano())
-	told := f.entry
+	f.endpoint.StartedAt = time.Duration(time.Now().UnixNano())
+	told := f.endpoint
 	s.mu.Unlock()
-	s.tell(balance.ListDelta, told)
+	s.publish(balance.ListDelta, told)
 }
--- a/internal/refmodel/scene_node_test.go
+++ b/internal/refmodel/scene_node_test.go
@@ -20,58 +20,58 @@
 )
 
 // node is one process.
-type node struct {
-	core   *dispatch.EventLoop
-	hops   *upstream.Pool
-	server *downstream.Server
-	door   listener
-	cancel context.CancelFunc
-	parts  sync.WaitGroup
+type process struct {
+	eventLoop  *dispatch.EventLoop
+	pool       *upstream.Pool
+	server     *downstream.Server
+	listener   pipeListener
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 }
 
 // start starts a process, which is told what the last one was.
-func (s *scene) start(list ...discovery.Endpoint) *node {
+func (s *simulation) startProcess(list ...discovery.Endpoint) *process {
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{door: listener{s.front, make(chan struct{})}, cancel: cancel}
-	n.hops = upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
-	n.hops.Dial = s.dial
-	var lists dispatch.Discovery = noRoster{}
-	watch := discovery.New("discovery:1", sink{s, n})
-	watch.Dial = s.board.dial
-	if s.kind == silent {
+	n := &process{listener: pipeListener{s.clientConns, make(chan struct{})}, cancel: cancel}
+	n.pool = upstream.New(ctx, upstream.Limits{ConnectTimeout: connectTimeout, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
+	n.pool.Dial = s.dialServer
+	var lists dispatch.Discovery = noDiscovery{}
+	watch := discovery.New("discovery:1", endpointSink{s, n})
+	watch.Dial = s.discovery.dial
+	if s.faults == silentWatches {
 		lists = watch
 	}
-	core, err := dispatch.New(dispatch.NewClock(), uint64(s.upTo(time.Hour)), s.set, n.hops, lists)
+	core, err := dispatch.New(dispatch.NewClock(), uint64(s.randomDuration(time.Hour)), s.settings, n.pool, lists)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	n.core = core
-	n.hops.SetObserver(core)
-	n.server = downstream.New(core, n.hops, downstream.Limits{Sockets: 1000})
-	n.server.Metrics = s.count
-	n.parts.Go(func() { core.Run(ctx) })
-	if s.kind == silent {
-		n.parts.Go(func() { watch.Run(ctx, discovery.Update{}) })
+	n.eventLoop = core
+	n.pool.SetObserver(core)
+	n.server = downstream.New(core, n.pool, downstream.Limits{Sockets: 1000})
+	n.server.Metrics = s.metrics
+	n.goroutines.Go(func() { core.Run(ctx) })
+	if s.faults == silentWatches {
+		n.goroutines.Go(func() { watch.Run(ctx, discovery.Update{}) })
 	} else {
-		n.tell(balance.ListFull, list)
+		n.updateEndpoints(balance.ListFull, list)
 	}
 	s.mu.Lock()
-	s.nodes = append(s.nodes, n)
+	s.processes = append(s.processes, n)
 	s.mu.Unlock()
-	n.parts.Go(func() { _ = n.server.Serve(n.door) })
+	n.goroutines.Go(func() { _ = n.server.Serve(n.listener) })
 	return n
 }
 
-func (n *node) tell(kind balance.ListKind, entries []discovery.Endpoint) {
+func (n *process) updateEndpoints(kind balance.ListKind, entries []discovery.Endpoint) {
 	u := discovery.Update{Kind: kind, Endpoints: entries}
-	n.hops.Update(kind != balance.ListDelta, entries, time.Now())
-	n.core.UpdateEndpoints(u.ListUpdate())
+	n.pool.Update(kind != balance.ListDelta, entries, time.Now())
+	n.eventLoop.UpdateEndpoints(u.ListUpdate())
 }
 
 // end lets a process end: at once, or as one that is replaced.
-func (s *scene) end(n *node, heir proxy.Successor) {
+func (s *simulation) endProcess(n *process, heir proxy.Successor) {
 	if heir == nil {
-		_ = n.door.Close()
+		_ = n.listener.Close()
 	} else {
 		now := time.Now()
 		end := now.Add(1400 * ms)
@@ -85,92 +85,92 @@
 	}
 	n.server.Close()
 	s.mu.Lock()
-	s.nodes = slices.DeleteFunc(s.nodes, func(o *node) bool { return o == n })
+	s.processes = slices.DeleteFunc(s.processes, func(o *process) bool { return o == n })
 	s.mu.Unlock()
 	n.cancel()
-	n.parts.Wait()
+	n.goroutines.Wait()
 }
 
 // replace has a successor take over from the node, which takes its time to end.
-func (s *scene) replace() {
+func (s *simulation) replaceProcess() {
 	s.mu.Lock()
 	var list []discovery.Endpoint
-	for _, f := range s.feeds {
-		list = append(list, f.entry)
+	for _, f := range s.servers {
+		list = append(list, f.endpoint)
 	}
 	s.mu.Unlock()
-	old := s.node
-	s.two.Store(true)
-	s.set.Processes = 2
-	s.node = s.start(list...)
-	next := s.node
-	old.core.UpdateSettings(s.set)
-	s.ended.Go(func() {
+	old := s.process
+	s.hasTwoProcesses.Store(true)
+	s.settings.Processes = 2
+	s.process = s.startProcess(list...)
+	next := s.process
+	old.eventLoop.UpdateSettings(s.settings)
+	s.endingProcesses.Go(func() {
 		defer func() {
-			set := s.set
+			set := s.settings
 			set.Processes = 1
-			next.core.UpdateSettings(set)
-			s.two.Store(false)
+			next.eventLoop.UpdateSettings(set)
+			s.hasTwoProcesses.Store(false)
 		}()
-		if s.kind == beside {
-			time.Sleep(s.upTo(2 * time.Second))
+		if s.faults == overlappingProcesses {
+			time.Sleep(s.randomDuration(2 * time.Second))
 		}
-		_ = old.door.Close()
-		next.core.ImportLearnedState(old.core.ExportLearnedState())
-		s.end(old, heir{s, next.server})
+		_ = old.listener.Close()
+		next.eventLoop.ImportLearnedState(old.eventLoop.ExportLearnedState())
+		s.endProcess(old, successor{s, next.server})
 	})
 }
 
 // heir is the successor, as its socket would have it. Now and then it takes nothing.
-type heir struct {
-	s  *scene
-	to *downstream.Server
+type successor struct {
+	sim    *simulation
+	server *downstream.Server
 }
 
-func (h heir) Take(st proxy.EstablishedSession, c, hop net.Conn) bool {
-	if h.s.chance(0.1) {
+func (h successor) Take(st proxy.EstablishedSession, c, hop net.Conn) bool {
+	if h.sim.chance(0.1) {
 		return false
 	}
 	st.FromClient, st.FromUpstream = bytes.Clone(st.FromClient), bytes.Clone(st.FromUpstream) // as the wire does
-	a, b := c.(*handle), hop.(*handle)
-	a.given.Store(true)
-	b.given.Store(true)
-	if h.to.Adopt(st, &handle{Conn: a.Conn}, &handle{Conn: b.Conn}) {
+	a, b := c.(*sharedConn), hop.(*sharedConn)
+	a.handedOver.Store(true)
+	b.handedOver.Store(true)
+	if h.server.Adopt(st, &sharedConn{Conn: a.Conn}, &sharedConn{Conn: b.Conn}) {
 		return true
 	}
-	a.given.Store(false)
-	b.given.Store(false)
+	a.handedOver.Store(false)
+	b.handedOver.Store(false)
 	return false
 }
 
 // handle is a process's own copy of a connection: once another process has one too,
 // closing this one ends nothing.
-type handle struct {
+type sharedConn struct {
 	net.Conn
-	given atomic.Bool
+	handedOver atomic.Bool
 }
 
-func (h *handle) Close() error {
-	if h.given.Load() {
+func (h *sharedConn) Close() error {
+	if h.handedOver.Load() {
 		return nil
 	}
 	return h.Conn.Close()
 }
 
-func (h *handle) SetReadDeadline(t time.Time) error {
-	if h.given.Load() {
+func (h *sharedConn) SetReadDeadline(t time.Time) error {
+	if h.handedOver.Load() {
 		return nil
 	}
 	return h.Conn.SetReadDeadline(t)
 }
 
 // listener hands the node what clients dial.
-type listener struct {
+type pipeListener struct {
 	conns chan net.Conn
 	done  chan struct{}
 }
 
-func (l listener) Accept() (net.Conn, error) {
+func (l pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
@@ -178,9 +178,9 @@
 		return nil, net.ErrClosed
 	}
 }
-func (l listener) Close() error { close(l.done); return nil }
-func (listener) Addr() net.Addr { return &net.TCPAddr{} }
+func (l pipeListener) Close() error { close(l.done); return nil }
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-type noRoster struct{}
+type noDiscovery struct{}
 
-func (noRoster) Subscribe() {}
+func (noDiscovery) Subscribe() {}
