refmodel: the checker's parts are short, its cases stand by rule

Checker, requests and servers have the field's names and a typed request status; the table of 57 cases is split by rule with every case, expectation and bound as before. Passed: go test ./internal/refmodel.

--- /dev/null
+++ b/internal/refmodel/checker_cases_test.go
@@ -0,0 +1,300 @@
+package refmodel
+
+import "time"
+
+// checkerCase is a history that breaks one rule, or one that comes near it and breaks none. Each
+// begins with the ready servers a and b and the request r, whose deadline is one second.
+type checkerCase struct {
+	name string
+	play func(c *Checker)
+	want string // how each violation begins; empty if there are none
+}
+
+// answerCases are of rule 1: the final answer.
+var answerCases = []checkerCase{
+	{"served", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.RequestAnswered(ms, "r", Served)
+		c.CheckDeadlines(time.Hour)
+	}, ""},
+	{"answered twice", func(c *Checker) {
+		c.RequestAnswered(ms, "r", Refused)
+		c.RequestAnswered(ms, "r", Refused)
+	}, "rule 1"},
+	{"never answered", func(c *Checker) { c.CheckDeadlines(1001 * ms) }, "rule 1"},
+	{"answered at the last moment", func(c *Checker) {
+		c.RequestAnswered(time.Second, "r", Failed)
+		c.CheckDeadlines(time.Hour)
+	}, ""},
+	{"served by nobody", func(c *Checker) { c.RequestAnswered(ms, "r", Served) }, "rule 1"},
+	{"answered unasked", func(c *Checker) {
+		c.RequestAnswered(ms, "q", Failed)
+		c.ClientLeft(ms, "r")
+	}, "rule 1"},
+	{"refused as harmless", func(c *Checker) {
+		c.RequestArrived(0, "u", time.Second, Retries{Forbidden: true})
+		c.AttemptSent(0, "u", "a")
+		c.AttemptEnded(0, "u", MayRun)
+		c.RequestAnswered(0, "u", Refused)
+	}, "rule 1"},
+	{"answered as its client left", func(c *Checker) {
+		c.ClientLeft(ms, "r")
+		c.RequestAnswered(ms, "r", Refused)
+	}, ""},
+	{"answered after its client left", func(c *Checker) {
+		c.ClientLeft(ms, "r")
+		c.RequestAnswered(2*ms, "r", Refused)
+	}, "rule 1"},
+	{"left", func(c *Checker) {
+		c.ClientLeft(ms, "r")
+		c.CheckDeadlines(time.Hour)
+	}, ""},
+}
+
+// attemptCases are of rule 2: attempts and retries.
+var attemptCases = []checkerCase{
+	{"two at once", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.AttemptSent(ms, "r", "b")
+	}, "rule 2"},
+	{"answered while out", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.RequestAnswered(ms, "r", Refused)
+	}, "rule 2"},
+	{"sent after its answer", func(c *Checker) {
+		c.RequestAnswered(0, "r", Failed)
+		c.AttemptSent(ms, "r", "a")
+	}, "rule 2"},
+	{"sent as its client left", func(c *Checker) {
+		c.ClientLeft(ms, "r")
+		c.AttemptSent(ms, "r", "a")
+	}, ""},
+	{"sent after its client left", func(c *Checker) {
+		c.ClientLeft(ms, "r")
+		c.AttemptSent(2*ms, "r", "a")
+	}, "rule 2"},
+	{"sent just after its client left", func(c *Checker) {
+		c.rules.ClientGoneGrace = 100 * ms
+		c.ClientLeft(ms, "r")
+		c.AttemptSent(101*ms, "r", "a")
+	}, ""},
+	{"sent late after its client left", func(c *Checker) {
+		c.rules.ClientGoneGrace = 100 * ms
+		c.ClientLeft(ms, "r")
+		c.AttemptSent(102*ms, "r", "a")
+	}, "rule 2"},
+	{"sent again after its client left", func(c *Checker) {
+		c.rules.ClientGoneGrace = 100 * ms
+		c.AttemptSent(0, "r", "a")
+		c.ClientLeft(ms, "r")
+		c.AttemptEnded(50*ms, "r", NotRun)
+		c.AttemptSent(102*ms, "r", "b")
+	}, "rule 2"},
+	{"two at once as its client left", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.ClientLeft(ms, "r")
+		c.AttemptSent(ms, "r", "b")
+	}, "rule 2"},
+	{"one after the other", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.AttemptEnded(ms, "r", NotRun)
+		c.AttemptSent(ms, "r", "b")
+	}, ""},
+	{"too often", func(c *Checker) {
+		for _, s := range []string{"a", "b", "a"} {
+			c.AttemptSent(0, "r", s)
+			c.AttemptEnded(0, "r", NotRun)
+		}
+	}, "rule 2"},
+	{"sent again after a reset", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.AttemptEnded(0, "r", NoReply)
+		c.AttemptSent(0, "r", "b")
+	}, "rule 2"},
+	{"repeat past its window", func(c *Checker) {
+		c.RequestArrived(0, "k", time.Second, Retries{Within: 100 * ms})
+		c.AttemptSent(0, "k", "a")
+		c.AttemptEnded(50*ms, "k", MayRun)
+		c.AttemptSent(100*ms, "k", "b")
+	}, "rule 2"},
+}
+
+// drainCases are of rule 3: servers that the node was notified of as leaving.
+var drainCases = []checkerCase{
+	{"just within the grace", func(c *Checker) {
+		c.NodeNotified(0, "a", Draining, 0)
+		c.AttemptSent(300*ms, "r", "a")
+	}, ""},
+	{"after a drain", func(c *Checker) {
+		c.NodeNotified(0, "a", Draining, 0)
+		c.AttemptSent(301*ms, "r", "a")
+	}, "rule 3"},
+	{"drained, then gone", func(c *Checker) {
+		c.NodeNotified(0, "a", Draining, 0)
+		c.NodeNotified(200*ms, "a", Gone, 0)
+		c.AttemptSent(301*ms, "r", "a")
+	}, "rule 3"},
+	{"back before it was sent", func(c *Checker) {
+		c.NodeNotified(0, "a", Gone, 0)
+		c.NodeNotified(200*ms, "a", Ready, 0)
+		c.AttemptSent(900*ms, "r", "a")
+	}, ""},
+}
+
+// coldServerCases are of rule 4: what a cold server may be sent.
+var coldServerCases = []checkerCase{
+	{"within a cold budget, and chance", func(c *Checker) { sendBurst(c, ms, 15, time.Second) }, ""},
+	{"over a cold budget, and chance", func(c *Checker) { sendBurst(c, ms, 16, time.Second) }, "rule 4"},
+	{"the same in two windows", func(c *Checker) { sendBurst(c, ms, 24, 2*time.Second) }, ""},
+	{"within a cold budget", func(c *Checker) {
+		c.rules.ChanceAllowance = 0.01
+		sendBurst(c, ms, 7, time.Second)
+	}, ""},
+	{"over a cold budget", func(c *Checker) {
+		c.rules.ChanceAllowance = 0.01
+		sendBurst(c, ms, 9, time.Second)
+	}, "rule 4"},
+	{"chance grows with the root alone", func(c *Checker) {
+		c.rules.ServerRate = 100
+		sendBurst(c, ms, 98, time.Second)
+	}, ""},
+	{"of a hundred it is a fifth", func(c *Checker) {
+		c.rules.ServerRate = 100
+		sendBurst(c, ms, 109, time.Second)
+	}, "rule 4"},
+	{"a process that discovery told of", func(c *Checker) {
+		c.NodeNotified(0, "c", Ready, 0)
+		c.ServerChanged(ms, "c", Ready, 6*time.Second)
+		sendBurst(c, 6001*ms, 16, time.Second)
+	}, "rule 4"},
+	{"an older list of it that came after", func(c *Checker) {
+		c.NodeNotified(0, "c", Ready, 0)
+		c.ServerChanged(ms, "c", Ready, 6*time.Second)
+		sendBurst(c, 6001*ms, 8, 500*ms)
+		c.NodeNotified(6501*ms, "c", Ready, 0)
+		sendBurst(c, 6501*ms, 8, 500*ms)
+	}, "rule 4"},
+	{"a process that it has not told of", func(c *Checker) {
+		c.NodeNotified(0, "c", Ready, 0)
+		c.ServerChanged(ms, "c", Ready, ms)
+		sendBurst(c, 4*time.Second, 40, time.Second)
+	}, ""},
+}
+
+// notificationCases are of rule 3: changes that count as notified, whether or not a notification arrived.
+var notificationCases = []checkerCase{
+	{"a change that never came, just in time", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		answerAndAskAgain(c, "k", 6*time.Second)
+		c.AttemptSent(6300*ms, "k", "a")
+	}, ""},
+	{"a change that never came", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		answerAndAskAgain(c, "k", 6*time.Second)
+		c.AttemptSent(6301*ms, "k", "a")
+	}, "rule 3"},
+	{"a change that came before", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		c.NodeNotified(ms, "a", Draining, 0)
+		c.AttemptSent(302*ms, "r", "a")
+	}, "rule 3"},
+	{"a change that came too late", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		answerAndAskAgain(c, "k", 6200*ms)
+		c.NodeNotified(6200*ms, "a", Draining, 0)
+		c.AttemptSent(6301*ms, "k", "a")
+	}, "rule 3"},
+	{"an older list that came after", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		c.NodeNotified(ms, "a", Draining, 0)
+		c.NodeNotified(2*ms, "a", Ready, 0)
+		answerAndAskAgain(c, "k", 6*time.Second)
+		c.AttemptSent(6301*ms, "k", "a")
+	}, "rule 3"},
+	{"the first of two changes counts", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		c.ServerChanged(time.Second, "a", Gone, 0)
+		answerAndAskAgain(c, "k", 6*time.Second)
+		c.AttemptSent(6301*ms, "k", "a")
+	}, "rule 3"},
+	{"a change that was taken back", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		c.ServerChanged(time.Second, "a", Ready, 0)
+		answerAndAskAgain(c, "k", 6*time.Second)
+		c.AttemptSent(6500*ms, "k", "a")
+	}, ""},
+	{"a pushed change, just in time", func(c *Checker) {
+		c.rules.NotifyDelay = 0
+		c.ServerChanged(0, "a", Gone, 0)
+		c.AttemptSent(300*ms, "r", "a")
+	}, ""},
+	{"a pushed change", func(c *Checker) {
+		c.rules.NotifyDelay = 0
+		c.ServerChanged(0, "a", Gone, 0)
+		c.AttemptSent(301*ms, "r", "a")
+	}, "rule 3"},
+	{"a server that no word came of", func(c *Checker) {
+		c.ServerChanged(0, "c", Ready, 0)
+		c.AttemptSent(ms, "r", "c")
+	}, "rule 3"},
+}
+
+// promptnessCases are of rule 5: requests that no server may be sent.
+var promptnessCases = []checkerCase{
+	{"given up and kept: no word of another", func(c *Checker) {
+		c.ServerChanged(0, "c", Ready, 0)
+		c.NodeNotified(0, "a", Draining, 0)
+		c.NodeNotified(0, "b", Gone, 0)
+		c.CheckDeadlines(2 * ms)
+	}, "rule 5"},
+	{"given up and kept: a reset", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.AttemptEnded(ms, "r", NoReply)
+		c.CheckDeadlines(3 * ms)
+	}, "rule 5"},
+	{"given up and answered", func(c *Checker) {
+		c.AttemptSent(0, "r", "a")
+		c.AttemptEnded(ms, "r", NoReply)
+		c.RequestAnswered(2*ms, "r", Failed)
+	}, ""},
+	{"given up and kept: all tried", func(c *Checker) {
+		c.NodeNotified(0, "c", Gone, 0)
+		c.RequestArrived(0, "t", time.Second, Retries{})
+		for _, s := range []string{"a", "b"} {
+			c.AttemptSent(0, "t", s)
+			c.AttemptEnded(0, "t", NotRun)
+		}
+		c.CheckDeadlines(2 * ms)
+	}, "rule 5"},
+	{"given up and kept: nobody is ready", func(c *Checker) {
+		c.NodeNotified(0, "a", Draining, 0)
+		c.NodeNotified(0, "b", Gone, 0)
+		c.CheckDeadlines(2 * ms)
+	}, "rule 5"},
+	{"nobody is ready for a moment", func(c *Checker) {
+		c.NodeNotified(0, "a", Draining, 0)
+		c.NodeNotified(0, "b", Gone, 0)
+		c.NodeNotified(0, "b", Ready, 0)
+		c.CheckDeadlines(2 * ms)
+	}, ""},
+	{"given up and kept: its window is over", func(c *Checker) {
+		c.RequestArrived(0, "k", time.Second, Retries{Within: 100 * ms})
+		c.AttemptSent(0, "k", "a")
+		c.AttemptEnded(50*ms, "k", MayRun)
+		c.CheckDeadlines(102 * ms)
+	}, "rule 5"},
+	{"its window is over: within a tick", func(c *Checker) {
+		endWithinRetryWindow(c, 99*ms)
+		c.CheckDeadlines(105 * ms)
+		c.RequestAnswered(105*ms, "k", Failed)
+	}, ""},
+	{"given up and kept: a tick after its window", func(c *Checker) {
+		endWithinRetryWindow(c, 99*ms)
+		c.CheckDeadlines(100 * ms)
+		c.CheckDeadlines(106 * ms)
+	}, "rule 5"},
+	{"given up and kept: a tick after it ended", func(c *Checker) {
+		endWithinRetryWindow(c, 101*ms)
+		c.CheckDeadlines(103 * ms)
+	}, "rule 5"},
+}
--- a/internal/refmodel/servers.go
+++ b/internal/refmodel/servers.go
@@ -1,6 +1,6 @@
 package refmodel
 
-// When does a change of a server count as told, and what may a cold one be sent? Rules 3
+// When a change of a server counts as notified, and what a cold server may be sent: rules 3
 // and 4.
 
 import (
@@ -9,112 +9,117 @@
 )
 
 type server struct {
-	known   bool // by word
-	state   ServerState
-	told    time.Duration // when word first came that it is leaving
-	changes []change      // as discovery had them, in order
-	started time.Duration // its process, by word or by the clock
-	sent    []time.Duration
+	isKnown    bool // the node was notified of it
+	state      ServerState
+	notifiedAt time.Duration // when the node was first notified that it is leaving
+	changes    []change      // as discovery had them, in order
+	startedAt  time.Duration // its process, as notified or as it counts as notified
+	sentAt     []time.Duration
 }
 
-// change is one that discovery has had.
+// change is a change of a server as discovery has it.
 type change struct {
-	at      time.Duration
-	state   ServerState
-	started time.Duration
+	at        time.Duration
+	state     ServerState
+	startedAt time.Duration
 }
 
-func (b *Checker) server(id string) *server {
-	s := b.servers[id]
+func (c *Checker) server(id string) *server {
+	s := c.servers[id]
 	if s == nil {
 		s = &server{}
-		b.servers[id] = s
+		c.servers[id] = s
 	}
 	return s
 }
 
-// Changed takes that discovery has a change of a server, which could be asked for it from
-// now on: word of it may come later, or never. Where lists are pushed it is the agent that
-// has it. started is as in Told.
-func (b *Checker) ServerChanged(now time.Duration, id string, state ServerState, started time.Duration) {
-	b.CheckDeadlines(now)
-	s := b.server(id)
-	s.changes = append(s.changes, change{now, state, started})
-	b.newProcesses()
+// ServerChanged records that discovery has a change of a server and would answer a poll with it
+// from now on: the notification may come later, or never. Where lists are pushed it is the agent
+// that has the change. For startedAt see NodeNotified.
+func (c *Checker) ServerChanged(now time.Duration, id string, state ServerState, startedAt time.Duration) {
+	c.CheckDeadlines(now)
+	s := c.server(id)
+	s.changes = append(s.changes, change{now, state, startedAt})
+	c.applyDueRestarts()
 }
 
-// Told takes what the node was told of a server. started is when its process did; 0
-// means long ago.
-func (b *Checker) NodeNotified(now time.Duration, id string, state ServerState, started time.Duration) {
-	b.CheckDeadlines(now)
-	s := b.server(id)
+// NodeNotified records that the node was notified of a server's state. startedAt is when the
+// server's process started; 0 means long ago.
+func (c *Checker) NodeNotified(now time.Duration, id string, state ServerState, startedAt time.Duration) {
+	c.CheckDeadlines(now)
+	s := c.server(id)
 	if state != Ready && s.state == Ready {
-		s.told = now
+		s.notifiedAt = now
 	}
-	s.process(started)
-	s.state, s.known, b.listed = state, true, true
-	b.look()
+	s.applyRestart(startedAt)
+	s.state, s.isKnown, c.hasEndpoints = state, true, true
+	c.updateUnservable()
 }
 
-// process takes that s is a process that started then, unless it is known to be a later
-// one by now: a new one's budget is its own.
-func (s *server) process(started time.Duration) {
-	if started > s.started {
-		s.started, s.sent = started, nil
+// applyRestart records that the server's process started at a time, unless a later process is
+// known. A new process has a budget of its own.
+func (s *server) applyRestart(startedAt time.Duration) {
+	if startedAt > s.startedAt {
+		s.startedAt, s.sentAt = startedAt, nil
 	}
 }
 
-// newProcesses takes those that count as told by now, though no word has come.
-func (b *Checker) newProcesses() {
-	for _, s := range b.servers {
-		for _, c := range s.changes {
-			if b.now >= c.at+b.terms.NotifyDelay {
-				s.process(c.started)
+// applyDueRestarts applies the restarts that count as notified by now, though no notification
+// has come.
+func (c *Checker) applyDueRestarts() {
+	for _, s := range c.servers {
+		for _, change := range s.changes {
+			if c.now >= change.at+c.rules.NotifyDelay {
+				s.applyRestart(change.startedAt)
 			}
 		}
 	}
 }
 
-// leaving tells whether a server counts as told to be leaving, and since when: by word, or
-// by what discovery has. Where discovery has it back already, only by word.
-func (b *Checker) leaving(s *server) (since time.Duration, yes bool) {
+// leavingSince reports whether the node counts as notified that a server is leaving, and since
+// when: by a notification, or by what discovery has. Where discovery has the server back
+// already, only a notification counts.
+func (c *Checker) leavingSince(s *server) (since time.Duration, yes bool) {
 	if s.state != Ready {
-		since, yes = s.told, true
+		since, yes = s.notifiedAt, true
 	}
 	for i := len(s.changes) - 1; i >= 0 && s.changes[i].state != Ready; i-- {
-		if at := s.changes[i].at + b.terms.NotifyDelay; !yes || at < since {
-			since, yes = at, true
+		dueAt := s.changes[i].at + c.rules.NotifyDelay
+		if !yes || dueAt < since {
+			since, yes = dueAt, true
 		}
 	}
 	return since, yes
 }
 
-// cold holds the window that ends now against a server's budget. As each send ends
-// one, no window with more in it is left out.
-func (b *Checker) cold(id string, s *server) {
-	t := b.terms
-	age := b.now - s.started
-	if t.ServerRate == 0 || s.started <= 0 || age >= t.SlowStartDuration {
+// checkColdBudget checks the window that ends now against a cold server's budget. It is called
+// at each send, so that every window that could break the rule is checked.
+func (c *Checker) checkColdBudget(id string, s *server) {
+	r := c.rules
+	age := c.now - s.startedAt
+	if r.ServerRate == 0 || s.startedAt <= 0 || age >= r.SlowStartDuration {
 		return
 	}
-	within := 0
-	for _, at := range s.sent {
-		if at > b.now-t.OverloadWindow {
-			within++
+	sent := 0
+	for _, at := range s.sentAt {
+		if at > c.now-r.OverloadWindow {
+			sent++
 		}
 	}
-	warmth := t.SlowStartShare + (1-t.SlowStartShare)*age.Seconds()/t.SlowStartDuration.Seconds()
-	budget := t.OverloadMultiple * warmth * t.ServerRate * t.OverloadWindow.Seconds()
-	if chance := t.byChance(budget); float64(within) > budget+chance {
-		b.broken(4, "%s, %v old, sent %d within %v; its budget is %.1f, and %.1f by chance", id, age, within, t.OverloadWindow, budget, chance)
+	warmth := r.SlowStartShare + (1-r.SlowStartShare)*age.Seconds()/r.SlowStartDuration.Seconds()
+	budget := r.OverloadMultiple * warmth * r.ServerRate * r.OverloadWindow.Seconds()
+	if chance := r.chanceBeyond(budget); float64(sent) > budget+chance {
+		c.addViolation(4, "%s, %v old, sent %d within %v; its budget is %.1f, and %.1f by chance",
+			id, age, sent, r.OverloadWindow, budget, chance)
 	}
 }
 
-// byChance is what a fleet may send beyond a budget of n requests.
-func (t Rules) byChance(n float64) float64 {
-	chance := 2*math.Sqrt(n) + 2
-	if t.ChanceAllowance > 0 {
-		chance = min(chance, t.ChanceAllowance)
+// chanceBeyond is how many requests beyond a budget independent processes may send by chance:
+// two standard deviations of a Poisson count, and two for small budgets.
+func (r Rules) chanceBeyond(budget float64) float64 {
+	chance := 2*math.Sqrt(budget) + 2
+	if r.ChanceAllowance > 0 {
+		chance = min(chance, r.ChanceAllowance)
 	}
 	return chance
 }
