--- a/internal/refmodel/checker.go
+++ b/internal/refmodel/checker.go
@@ -29,7 +29,7 @@
 	MaxAttempts     int           // rule 2: of one request
 	ClientGoneGrace time.Duration // rule 2: no attempt begins later than this after its client has gone
 	DrainGrace      time.Duration // rule 3
-	NotifyDelay     time.Duration // rule 3: a change counts as notified this long after discovery had it; 0 for pushed lists
+	NotifyDelay     time.Duration // rule 3: when a change counts as notified, after discovery had it; 0: pushed
 
 	SlowStartDuration time.Duration // rule 4: a server is warm after it
 	SlowStartShare    float64       // the share of its capacity that a server starts with
--- a/internal/refmodel/discovery_outage_test.go
+++ b/internal/refmodel/discovery_outage_test.go
@@ -8,8 +8,23 @@
 	"time"
 )
 
-// falls returns a discovery that a node finds as down says from a time of its life on, and
-// for a length. Then it takes the first call as first says.
+// The ways in which discovery is down, a call fails, and any call is treated.
+var (
+	outageKinds = map[string]callBehavior{
+		"refused": refusesConnect, "503": answers503, "cut": connectTimesOut,
+	}
+	failures = map[string]callBehavior{
+		"refused": refusesConnect, "503": answers503, "unanswered": neverAnswers,
+		"cut": connectTimesOut, "stalled": stallsMidList,
+	}
+	behaviors = map[string]callBehavior{
+		"listed": answersList, "refused": refusesConnect, "503": answers503, "unanswered": neverAnswers,
+		"cut": connectTimesOut, "stalled": stallsMidList,
+	}
+)
+
+// withOutage returns a discovery with an outage that begins after from and lasts for length. During
+// it calls are treated as down says, and the first call after it as first says.
 func withOutage(down, first callBehavior, from, length time.Duration) func() *fakeDiscovery {
 	return func() *fakeDiscovery {
 		begun, back := time.Now().Add(from), time.Now().Add(from+length)
@@ -29,7 +44,7 @@
 	}
 }
 
-// taken is a discovery that takes one call of a node as m says, and the others well.
+// withCallBehavior returns a discovery that treats one call of a node as m says, and answers the others.
 func withCallBehavior(which int, m callBehavior) func() *fakeDiscovery {
 	return func() *fakeDiscovery {
 		return newFakeDiscovery(func(call int) callBehavior {
@@ -41,16 +56,16 @@
 	}
 }
 
-// intime tells whether a list that came after a second call would have come in time too if
-// that call had taken as long as one may.
+// leavesTimeForSecondCall reports whether a list that came after a second call would have come in
+// time even if that call had taken as long as a call may.
 func leavesTimeForSecondCall(took, in time.Duration) bool { return took > 0 && took+callTimeout <= in }
 
-// However discovery was down and for however long, and however it then takes the first
-// call: within 6 s of its return a node has made a second whole call, on every setting.
+// However and for however long discovery was down, and however it then treats the first call: within
+// 6 s of its return a node has made a second complete call, with every subscribe timeout.
 func TestDiscoveryRecoveryIsNoticedInTime(t *testing.T) {
 	for _, n := range []int{1, 30, 300} {
 		for _, within := range []time.Duration{0, 20 * ms, 10 * time.Second, time.Hour} {
-			for name, down := range map[string]callBehavior{"refused": refusesConnect, "503": answers503, "cut": connectTimesOut} {
+			for name, down := range outageKinds {
 				t.Run(fmt.Sprint(n, " ", within, " ", name), func(t *testing.T) {
 					latest, calls := time.Duration(0), 0
 					for seed := range uint64(4) {
@@ -78,9 +93,8 @@
 	}
 }
 
-// A list that stops in its middle after a silent watch, or after an outage, has its second
-// call inside the 6 s. One that comes slowly has one beside it, and the first whole one is
-// taken.
+// A list that stops in the middle, after a silent watch or an outage, is retried within the 6 s.
+// One that comes slowly is retried in parallel, and the first complete list is taken.
 func TestStalledListIsRetried(t *testing.T) {
 	for _, n := range []int{1, 300} {
 		for seed := range uint64(8) {
@@ -91,12 +105,14 @@
 					last := d.silenceWatches()
 					time.Sleep(20 * time.Second)
 					calls := d.callsSince("n", last)
-					if took := f.firstFullListAfter(last).Sub(last); !leavesTimeForSecondCall(took, notifyDeadline) || len(calls) != 2 {
-						t.Errorf("%d nodes, seed %d: the list came %v after the last word, asked at %v", n, seed, took, calls)
+					took := f.firstFullListAfter(last).Sub(last)
+					if !leavesTimeForSecondCall(took, notifyDeadline) || len(calls) != 2 {
+						t.Errorf("%d nodes, seed %d: the list came %v after the last heartbeat, polled at %v", n, seed, took, calls)
 					}
 				})
 			}
-			runInBubble(t, withOutage(refusesConnect, stallsMidList, 20*time.Second, 8*time.Second), func(ctx context.Context, d *fakeDiscovery) {
+			outage := withOutage(refusesConnect, stallsMidList, 20*time.Second, 8*time.Second)
+			runInBubble(t, outage, func(ctx context.Context, d *fakeDiscovery) {
 				f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
 				time.Sleep(20 * time.Second)
 				back := d.silenceWatches().Add(8 * time.Second)
@@ -109,10 +125,10 @@
 	}
 }
 
-// A new configuration that moves discovery in the middle of a back-off: the new service is
-// asked at once, and a second whole call fits into its 4 s.
+// A configuration with another discovery address ends a backoff: the new address is polled at once,
+// and a second complete call fits into its 4 s.
 func TestNewDiscoveryAddressEndsBackoff(t *testing.T) {
-	for name, m := range map[string]callBehavior{"refused": refusesConnect, "503": answers503, "unanswered": neverAnswers, "cut": connectTimesOut, "stalled": stallsMidList} {
+	for name, m := range failures {
 		latest := time.Duration(0)
 		for seed := range uint64(8) {
 			length := 12*time.Second + time.Duration(seed)*190*ms
@@ -135,8 +151,8 @@
 	}
 }
 
-// Watches that fall silent or end when they have just begun: what drains right after is
-// known within 6 s, though the first call is turned away.
+// Watches fall silent or end when they have just begun: a drain right after it is known within 6 s,
+// though the first call is rejected.
 func TestEarlyWatchEndIsRetriedInTime(t *testing.T) {
 	for _, n := range []int{1, 300} {
 		for _, ends := range []bool{false, true} {
@@ -161,11 +177,11 @@
 	}
 }
 
-// A process that starts, alone or with all others, has time for a second whole call within
-// 6 s, however its first one is taken. Alone it has its list at once.
+// A process that starts, alone or with all others, has time for a second complete call within 6 s,
+// however its first one is treated. Alone it has its list at once.
 func TestProcessStartGetsListInTime(t *testing.T) {
 	for _, n := range []int{1, 30, 300} {
-		for name, m := range map[string]callBehavior{"listed": answersList, "refused": refusesConnect, "503": answers503, "unanswered": neverAnswers, "cut": connectTimesOut, "stalled": stallsMidList} {
+		for name, m := range behaviors {
 			var took []time.Duration
 			for seed := range uint64(6) {
 				runInBubble(t, withCallBehavior(0, m), func(ctx context.Context, d *fakeDiscovery) {
--- a/internal/refmodel/fake_discovery_test.go
+++ b/internal/refmodel/fake_discovery_test.go
@@ -17,47 +17,56 @@
 	"coralrelay/internal/dispatch"
 )
 
-// manner is how discovery takes a call.
+// callBehavior is how the fake discovery treats a call.
 type callBehavior int
 
 const (
-	answersList     callBehavior = iota // it answers with the whole list and then says something every beat
-	answers503                          // it answers 503
-	neverAnswers                        // it never says a word
-	refusesConnect                      // nobody listens
-	connectTimesOut                     // connections to it never come up
-	stallsMidList                       // its list stops in the middle
-	answersSlowly                       // its list comes slowly
+	answersList     callBehavior = iota // the full list and then a heartbeat at each interval
+	answers503                          // status 503
+	neverAnswers                        // no byte
+	refusesConnect                      // connection refused
+	connectTimesOut                     // the connect times out
+	stallsMidList                       // the list stops in the middle
+	answersSlowly                       // the list comes slowly
 )
 
-// discovery takes one call at a time, and drops those that have waited for its patience.
+// fakeDiscovery serves one call at a time, and drops those that have waited for its queueTimeout.
 type fakeDiscovery struct {
-	behavior          func(call int) callBehavior // of a node's calls, from 0; asked one at a time
-	serviceTime       func() time.Duration        // one call
-	heartbeatInterval func() time.Duration        // until the next word of a watch
+	behavior          func(call int) callBehavior // by number of the node's call, from 0; called under mu
+	serviceTime       func() time.Duration        // of one call
+	heartbeatInterval func() time.Duration        // of a watch
 	queueTimeout      time.Duration
-	skipsAbandoned    bool // a call whose caller has gone costs no turn
+	skipsAbandoned    bool // a call whose client has gone takes no service time
 	queue             chan pendingCall
 	goroutines        sync.WaitGroup
 
 	mu            sync.Mutex
 	calls         map[string][]time.Time // by node
 	silenced      chan struct{}          // closed when all watches fall silent
-	closesWatches bool                   // and then they end
-	lastRequest   map[string]string      // a node's last
+	closesWatches bool                   // and then their connections are closed
+	lastRequest   map[string]string      // by node
 }
 
+// pendingCall is a call in the queue.
 type pendingCall struct {
 	call      int
 	behavior  callBehavior
 	arrivedAt time.Time
 	conn      net.Conn
-	abandoned chan struct{} // closed once its caller has gone
+	abandoned chan struct{} // closed once its client has gone
 }
 
 func newFakeDiscovery(m func(call int) callBehavior) *fakeDiscovery {
-	return &fakeDiscovery{behavior: m, serviceTime: func() time.Duration { return 4 * ms }, heartbeatInterval: func() time.Duration { return 2 * time.Second }, queueTimeout: time.Second,
-		queue: make(chan pendingCall, 4096), calls: map[string][]time.Time{}, lastRequest: map[string]string{}, silenced: make(chan struct{})}
+	return &fakeDiscovery{
+		behavior:          m,
+		serviceTime:       func() time.Duration { return 4 * ms },
+		heartbeatInterval: func() time.Duration { return 2 * time.Second },
+		queueTimeout:      time.Second,
+		queue:             make(chan pendingCall, 4096),
+		calls:             map[string][]time.Time{},
+		lastRequest:       map[string]string{},
+		silenced:          make(chan struct{}),
+	}
 }
 
 func (d *fakeDiscovery) run(ctx context.Context) {
@@ -82,7 +91,7 @@
 	}
 }
 
-// left tells whether the caller has gone.
+// isAbandoned reports whether the client has gone.
 func (v pendingCall) isAbandoned() bool {
 	select {
 	case <-v.abandoned:
@@ -92,7 +101,7 @@
 	}
 }
 
-// watch tells the list, then a word each beat until all watches fall silent or end.
+// watch sends the list, then heartbeats until all watches fall silent or are closed.
 func (d *fakeDiscovery) watch(ctx context.Context, v pendingCall) {
 	d.mu.Lock()
 	quiet := d.silenced
@@ -113,7 +122,7 @@
 		case <-ctx.Done():
 			return
 		case <-quiet:
-			if _, err = io.WriteString(v.conn, "\n"); d.closesWatches {
+			if _, _ = io.WriteString(v.conn, "\n"); d.closesWatches {
 				v.conn.Close()
 			}
 			return
@@ -123,7 +132,7 @@
 	}
 }
 
-// hush has all watches fall silent at one moment, behind a last word.
+// silenceWatches has all watches fall silent at the same moment, after a last heartbeat.
 func (d *fakeDiscovery) silenceWatches() (last time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -132,7 +141,7 @@
 	return time.Now()
 }
 
-// dial is a node's way to discovery.
+// dial returns the Dial function of a node.
 func (d *fakeDiscovery) dial(node string) func(context.Context, string, time.Time) (net.Conn, error) {
 	return func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 		d.mu.Lock()
@@ -167,7 +176,7 @@
 	}
 }
 
-// follower is what of a node follows the list.
+// follower is the part of a node that follows the endpoint list.
 type follower struct {
 	eventLoop *dispatch.EventLoop
 	watch     *discovery.Watcher
@@ -186,7 +195,7 @@
 
 func (*follower) Probe(string) {}
 
-// whole is when a whole list came first after a time; zero if none has.
+// firstFullListAfter is when the first full list after a time arrived; zero if none has.
 func (f *follower) firstFullListAfter(after time.Time) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,8 +207,10 @@
 	return time.Time{}
 }
 
-// follow starts a follower that ends with ctx.
-func (d *fakeDiscovery) startFollower(ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings) *follower {
+// startFollower starts a follower that ends with ctx.
+func (d *fakeDiscovery) startFollower(
+	ctx context.Context, t *testing.T, node string, seed uint64, set balance.Settings,
+) *follower {
 	f := &follower{}
 	f.watch = discovery.New("discovery:1", f)
 	f.watch.Dial = d.dial(node)
@@ -213,13 +224,16 @@
 	return f
 }
 
-// asked are the settings of one of n nodes that ask for their list.
+// pollSettings are the settings of one of n nodes that poll for their list.
 func pollSettings(n int) balance.Settings {
-	return balance.Settings{Instances: n, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10 * time.Second,
-		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * ms, Deadline: time.Second}}, Limits: balance.Limits{MaxAttempts: 4}}
+	return balance.Settings{
+		Instances: n, Tick: 4 * ms, SubscribeRequired: true, SubscribeTimeout: 10 * time.Second,
+		Classes: []balance.Class{{Name: "feed", LatencyObjective: 300 * ms, Deadline: time.Second}},
+		Limits:  balance.Limits{MaxAttempts: 4},
+	}
 }
 
-// since is when a node's calls left, from a time on.
+// callsSince is when a node's calls left, relative to from.
 func (d *fakeDiscovery) callsSince(node string, from time.Time) (calls []time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -231,7 +245,7 @@
 	return calls
 }
 
-// upTo draws a time.
+// randomUpTo draws a duration.
 func randomUpTo(r *rand.Rand, d time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(d) + 1))
 }
--- a/internal/refmodel/graceful_restart_test.go
+++ b/internal/refmodel/graceful_restart_test.go
@@ -18,26 +18,26 @@
 	"coralrelay/internal/upstream"
 )
 
-// answerAfter is how long next hops take to answer a line; what hangs answers none.
+// answerDelays is how long the endpoint of each name takes to answer a line; hung never does.
 var answerDelays = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
 
-// restarted is a node on pipes whose next hops answer each in its own time.
+// restartTest is a node on pipes whose endpoints answer with different delays.
 type restartTest struct {
 	transcript *transcript
 	goroutines sync.WaitGroup
 }
 
-// hop serves one connection of a next hop.
+// serveUpstream serves one connection of an endpoint.
 func (r *restartTest) serveUpstream(how string, conn net.Conn) {
 	defer conn.Close()
-	id, said := "", 0
-	var out sync.Mutex
-	say := func() { // by itself or as an answer: one line at a time, numbered
-		out.Lock()
-		defer out.Unlock()
-		if _, err := fmt.Fprintf(conn, "line %d\r\n", said+1); err == nil {
-			said++
-			r.transcript.recordSent(id, "down", said)
+	id, sent := "", 0
+	var writing sync.Mutex
+	send := func() { // one numbered line at a time
+		writing.Lock()
+		defer writing.Unlock()
+		if _, err := fmt.Fprintf(conn, "line %d\r\n", sent+1); err == nil {
+			sent++
+			r.transcript.recordSent(id, "down", sent)
 		}
 	}
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
@@ -54,20 +54,20 @@
 			if how != "hung" {
 				r.goroutines.Go(func() {
 					time.Sleep(answerDelays[how])
-					say()
+					send()
 				})
 			}
 		}
 	}
 }
 
-// client opens a connection and sends on it, answered or not, for as long as it stands.
+// runClient opens a connection and sends on it, answered or not, for as long as it is open.
 func (r *restartTest) runClient(id string, conn net.Conn) {
 	defer conn.Close()
 	fmt.Fprintf(conn, "OPEN %s k%s c=feed,d=1000\r\n", id, id)
 	lines := bufio.NewScanner(conn)
 	if !lines.Scan() || lines.Text() != "UP r1" {
-		return // it never stood, and is found to have had no MOVE
+		return // never established: it is reported as having had no MOVE
 	}
 	moved := make(chan struct{})
 	r.goroutines.Go(func() {
@@ -88,7 +88,7 @@
 		if lines.Text() == "MOVE" {
 			r.transcript.recordTime(r.transcript.movedAt, id)
 			close(moved)
-			time.Sleep(30 * ms) // what else it has sent is read meanwhile
+			time.Sleep(30 * ms) // what it has sent before is read meanwhile
 			return
 		}
 		_, _ = fmt.Sscanf(lines.Text(), "line %d", &n)
@@ -97,9 +97,9 @@
 	r.transcript.recordTime(r.transcript.endedAt, id)
 }
 
-// A planned restart while clients go on sending: until a connection is told to MOVE it has
-// all its lines, both ways, also where its next hop answers late; and none ends without
-// MOVE, also where it does not answer at all.
+// A graceful restart while clients go on sending: until a connection is sent MOVE it loses no line
+// in either direction, also where its endpoint answers late; and none ends without MOVE, also where
+// its endpoint never answers.
 func TestGracefulRestartLosesNoLines(t *testing.T) {
 	for _, longest := range []time.Duration{1200 * ms, 3 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
@@ -107,7 +107,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				r := &restartTest{transcript: newTranscript()}
 				door := pipeListener{make(chan net.Conn), make(chan struct{})}
-				hops := upstream.New(ctx, upstream.Limits{ConnectTimeout: connectTimeout, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
+				hops := upstream.New(ctx, poolLimits)
 				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 					near, far := net.Pipe()
 					r.goroutines.Go(func() { r.serveUpstream(addr, far) })
@@ -129,17 +129,22 @@
 				hops.Update(true, u.Endpoints, time.Now())
 				core.UpdateEndpoints(u.ListUpdate())
 				r.goroutines.Go(func() { _ = server.Serve(door) })
-				var callers []string
+				var clients []string
 				for i := range 60 {
 					id := fmt.Sprint("c", i)
-					callers = append(callers, id)
+					clients = append(clients, id)
 					near, far := net.Pipe()
 					door.conns <- near
 					r.goroutines.Go(func() { r.runClient(id, far) })
 					time.Sleep(10 * ms)
 				}
 				begun := time.Now() // as SIGTERM does it
-				server.Drain(downstream.DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(longest / 2), MoveEndAt: begun.Add(longest + 200*ms), EndAt: begun.Add(longest + 400*ms)})
+				server.Drain(downstream.DrainPlan{
+					RejectAt:    begun,
+					MoveStartAt: begun.Add(longest / 2),
+					MoveEndAt:   begun.Add(longest + 200*ms),
+					EndAt:       begun.Add(longest + 400*ms),
+				})
 				if took := time.Since(begun); took > longest+400*ms || server.OpenSessions() > 0 {
 					t.Errorf("it took %v, %d connections are left", took, server.OpenSessions())
 				}
@@ -147,7 +152,7 @@
 				server.Close()
 				cancel()
 				r.goroutines.Wait()
-				for _, wrong := range r.transcript.findLosses(callers) {
+				for _, wrong := range r.transcript.findLosses(clients) {
 					t.Error(wrong)
 				}
 				if len(r.transcript.received) < 1000 {
--- a/internal/refmodel/silent_watch_test.go
+++ b/internal/refmodel/silent_watch_test.go
@@ -12,11 +12,12 @@
 	"coralrelay/internal/settings"
 )
 
-// toldAfter is when all that a silent watch has missed counts as told, wait how long a
-// call may take to its head.
-const notifyDeadline, callTimeout = 6 * time.Second, 1100 * ms
+const (
+	notifyDeadline = 6 * time.Second // after it, all that a silent watch has missed counts as notified
+	callTimeout    = 1100 * ms       // of a call, until its response's head
+)
 
-// inBubble runs f beside a discovery, and ends all that it has started.
+// runInBubble runs f beside a discovery in a synctest bubble, and ends all that f has started.
 func runInBubble(t *testing.T, d func() *fakeDiscovery, f func(ctx context.Context, d *fakeDiscovery)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -28,11 +29,14 @@
 	})
 }
 
-// A watch falls silent, and then discovery hangs, answers 503, or is as it was. Two whole
-// calls fit into the time after which what was missed counts as told, whatever the number
-// of nodes; where two fail at once a third does.
+// A watch falls silent, and then discovery hangs, answers 503, refuses or works. Two complete calls
+// fit into the time after which what was missed counts as notified, whatever the number of nodes;
+// where two fail at once, three do.
 func TestSilentWatchIsReplacedInTime(t *testing.T) {
-	for name, m := range map[string]callBehavior{"answered": answersList, "unanswered": neverAnswers, "503": answers503, "refused": refusesConnect} {
+	behaviors := map[string]callBehavior{
+		"answered": answersList, "unanswered": neverAnswers, "503": answers503, "refused": refusesConnect,
+	}
+	for name, m := range behaviors {
 		for _, n := range []int{1, 300} {
 			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
 				var first, second, third time.Duration // the latest of all seeds
@@ -43,7 +47,8 @@
 						}
 						return m
 					}
-					runInBubble(t, func() *fakeDiscovery { return newFakeDiscovery(bad) }, func(ctx context.Context, d *fakeDiscovery) {
+					begin := func() *fakeDiscovery { return newFakeDiscovery(bad) }
+					runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 						f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
 						time.Sleep(20 * time.Second)
 						last := d.silenceWatches()
@@ -56,7 +61,7 @@
 							calls = append(calls, 0, 0)
 						}
 						first, second, third = max(first, calls[0]), max(second, calls[1]), max(third, calls[2])
-						for i := 4; i < len(calls); i++ { // discovery is down: it is asked now and then, but not seldom
+						for i := 4; i < len(calls); i++ { // discovery is down: it is polled with a bounded backoff
 							if gap := calls[i] - calls[i-1]; gap < 750*ms || m != neverAnswers && gap > 1300*ms {
 								t.Errorf("seed %d: calls at %v", seed, calls)
 							}
@@ -75,13 +80,13 @@
 	}
 }
 
-// Three hundred watches fall silent in one moment, and discovery, which serves one call
-// at a time, turns a tenth away. All have the list in time, but for who is turned away or
+// Three hundred watches fall silent at the same moment, and discovery, which serves one call at a
+// time, rejects a tenth. All nodes have the list in time, except those whose calls are rejected or
 // dropped three times.
 func TestManySilentWatchesAreReplacedInTime(t *testing.T) {
 	const nodes = 300
-	// What comes at one time comes in one order, and the race detector of go 1.26 breaks down
-	// where so many timers of one bubble run on several processors.
+	// Simultaneous events come in one order, and the race detector of Go 1.26 fails where so many
+	// timers of one bubble run on several processors.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -122,7 +127,7 @@
 	}
 }
 
-// A word that comes late, but by less than a quarter of the beat, breaks no watch.
+// A heartbeat that is late by less than a quarter of the interval ends no watch.
 func TestLateHeartbeatsKeepWatch(t *testing.T) {
 	for seed := range uint64(8) {
 		rng := rand.New(rand.NewPCG(seed, 5))
@@ -141,10 +146,13 @@
 	}
 }
 
-// At SIGHUP another discovery is asked at once. Two whole calls fit into the 4 s after
-// which its list counts as told, and it is asked for all it has.
+// After a SIGHUP with another address, discovery is polled there at once. Two complete calls fit into
+// the 4 s after which its list counts as notified, and the poll asks for the full list.
 func TestNewDiscoveryAddressIsPolledAtOnce(t *testing.T) {
-	for name, m := range map[string]callBehavior{"unanswered": neverAnswers, "503": answers503, "refused": refusesConnect} {
+	failures := map[string]callBehavior{
+		"unanswered": neverAnswers, "503": answers503, "refused": refusesConnect,
+	}
+	for name, m := range failures {
 		for seed := range uint64(30) {
 			begin := func() *fakeDiscovery {
 				return newFakeDiscovery(func(call int) callBehavior {
@@ -172,20 +180,24 @@
 	}
 }
 
-// A pushed list has its watch from the first moment of a process, and anew after each
-// end; what comes on it counts at once.
+// A pushed list is watched from the start of a process, and watched again after each end; what
+// comes on the watch takes effect at once.
 func TestPushedListIsWatchedFromStart(t *testing.T) {
 	set, err := settings.Decode([]byte(`{"classes":[{"name":"feed","objective":0.3,"deadline":1,"effect":"read_like"}],
 		"granularity":0.004,"nInstances":300,"limits":{"mostTries":4},"registryMode":"pushed"}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	runInBubble(t, func() *fakeDiscovery { return newFakeDiscovery(func(int) callBehavior { return answersList }) }, func(ctx context.Context, d *fakeDiscovery) {
+	begin := func() *fakeDiscovery {
+		return newFakeDiscovery(func(int) callBehavior { return answersList })
+	}
+	runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
 		d.serviceTime = func() time.Duration { return 0 }
 		born := time.Now()
 		f := d.startFollower(ctx, t, "n", 1, settings.ForWatch(set))
 		time.Sleep(20 * time.Second)
-		if calls := d.callsSince("n", born.Add(-1)); len(calls) != 1 || calls[0] != 1 || f.firstFullListAfter(born.Add(-1)) != born {
+		calls, listAt := d.callsSince("n", born.Add(-1)), f.firstFullListAfter(born.Add(-1))
+		if len(calls) != 1 || calls[0] != 1 || listAt != born {
 			t.Errorf("calls at %v, the list came at %v, want both at the first moment", calls, f.firstFullListAfter(born))
 		}
 		for range 3 {
--- a/internal/refmodel/simulation_changes_test.go
+++ b/internal/refmodel/simulation_changes_test.go
@@ -1,6 +1,6 @@
 package refmodel_test
 
-// What the nodes of a scene are told: changes of servers and settings, drains.
+// What happens to the processes of a simulation: changes of servers and settings, drains.
 
 import (
 	"fmt"
@@ -14,17 +14,18 @@
 	"coralrelay/internal/refmodel"
 )
 
+// publish has the processes or, where they poll, discovery know of endpoints.
 func (s *simulation) publish(kind balance.ListKind, entries ...discovery.Endpoint) {
-	s.record(func(b *refmodel.Checker, now time.Duration) {
+	s.record(func(c *refmodel.Checker, now time.Duration) {
 		for _, e := range entries {
 			started := e.StartedAt
-			if started > 0 { // on the book's clock
+			if started > 0 { // on the checker's clock
 				started -= time.Duration(s.startedAt.UnixNano())
 			}
 			if s.faults == silentWatches {
-				b.ServerChanged(now, e.ID, refmodel.ServerState(e.State), started)
+				c.ServerChanged(now, e.ID, refmodel.ServerState(e.State), started)
 			} else {
-				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), started)
+				c.NodeNotified(now, e.ID, refmodel.ServerState(e.State), started)
 			}
 		}
 	})
@@ -40,17 +41,22 @@
 	}
 }
 
-// operate has operators empty the node, for as long as it takes or shorter, and bring it
-// back. What stood when it was emptied must be told to go within the plan.
+// drainAndRejoin has operators drain the node, to the end or not, and have it rejoin. Connections
+// that were established when the drain began must be sent MOVE within the plan.
 func (s *simulation) drainAndRejoin() {
 	if !s.operatorLock.TryLock() {
 		return
 	}
 	defer s.operatorLock.Unlock()
 	now := time.Now()
-	s.process.server.LameDuck(downstream.DrainPlan{RejectAt: now.Add(600 * ms), MoveStartAt: now.Add(300 * ms), MoveEndAt: now.Add(1500 * ms), EndAt: now.Add(time.Hour)})
+	s.process.server.LameDuck(downstream.DrainPlan{
+		RejectAt:    now.Add(600 * ms),
+		MoveStartAt: now.Add(300 * ms),
+		MoveEndAt:   now.Add(1500 * ms),
+		EndAt:       now.Add(time.Hour),
+	})
 	if s.process.server.AcceptsClients() {
-		s.t.Error("it takes clients while it is emptied")
+		s.t.Error("it accepts clients while it drains")
 	}
 	if s.chance(0.5) {
 		time.Sleep(s.randomDuration(time.Second)) // in the middle of it
@@ -62,18 +68,18 @@
 		s.mu.Lock()
 		for id, since := range s.openSince {
 			if since.Before(now) {
-				s.t.Errorf("%s stands since %v and was not told to go", id, since.Sub(s.startedAt))
+				s.t.Errorf("%s is established since %v and was not sent MOVE", id, since.Sub(s.startedAt))
 			}
 		}
 		s.mu.Unlock()
 		s.process.server.Rejoin()
 	}
 	if !s.process.server.AcceptsClients() {
-		s.t.Error("it takes no clients after the drain")
+		s.t.Error("it accepts no clients after the drain")
 	}
 }
 
-// retune changes how many attempts are allowed.
+// changeSettings changes how many attempts are allowed.
 func (s *simulation) changeSettings() {
 	s.mu.Lock()
 	s.settings.Limits.MaxAttempts = 1 + s.rng.IntN(4)
@@ -81,16 +87,17 @@
 	s.mu.Unlock()
 	s.process.eventLoop.UpdateSettings(set)
 	synctest.Wait() // it is in force
-	s.record(func(b *refmodel.Checker, now time.Duration) { b.SettingsChanged(now, set.Limits.MaxAttempts) })
+	s.record(func(c *refmodel.Checker, now time.Duration) { c.SettingsChanged(now, set.Limits.MaxAttempts) })
 }
 
-// trouble changes one server's state: it drains, goes, comes back as it was or as a
-// new process.
+// changeRandomServer changes one server's state: it drains, goes, comes back as it was or as a new
+// process.
 func (s *simulation) changeRandomServer() {
 	s.mu.Lock()
 	f := s.servers[fmt.Sprint("s", s.rng.IntN(len(s.servers)))]
 	e := &f.endpoint
-	e.State = []balance.ServerState{balance.Ready, balance.Ready, balance.Ready, balance.Draining, balance.Gone}[s.rng.IntN(5)]
+	states := []balance.ServerState{balance.Ready, balance.Ready, balance.Ready, balance.Draining, balance.Gone}
+	e.State = states[s.rng.IntN(len(states))]
 	if e.State == balance.Ready && s.rng.IntN(10) == 0 {
 		e.StartedAt = time.Duration(time.Now().UnixNano())
 	}
@@ -99,7 +106,7 @@
 	s.publish(balance.ListDelta, told)
 }
 
-// drain has a server drain that is ready, if one is.
+// drainReadyServer has the first ready server drain, if there is one.
 func (s *simulation) drainReadyServer() {
 	s.mu.Lock()
 	var told []discovery.Endpoint
@@ -113,7 +120,7 @@
 	s.publish(balance.ListDelta, told...)
 }
 
-// restart has a server's process end, with all that it holds, and another start.
+// restartServer ends a server's process with all its connections and starts another.
 func (s *simulation) restartServer(id string) {
 	s.mu.Lock()
 	f := s.servers[id]
--- a/internal/refmodel/simulation_clients_test.go
+++ b/internal/refmodel/simulation_clients_test.go
@@ -1,6 +1,6 @@
 package refmodel_test
 
-// The clients of a scene.
+// The clients of a simulation.
 
 import (
 	"bufio"
@@ -13,8 +13,8 @@
 	"coralrelay/internal/refmodel"
 )
 
-// classes are of every kind of effect. What may be repeated may be so for a short while,
-// which ends while an attempt is out, or is being made.
+// classes have every kind of idempotency. Retry windows are so short that many end while an attempt
+// is in flight, or while its connect is.
 var classes = []balance.Class{
 	{Name: "feed"},
 	{Name: "once", Idempotency: balance.NonIdempotent},
@@ -23,14 +23,14 @@
 	{Name: "celled", Idempotency: balance.IdempotencyKeyed, KeyScope: balance.ScopeCell, KeyWindow: 200 * ms},
 }
 
-// repeats is what the book has to know of a class.
+// retriesOf is what the checker has to know of a class.
 func (s *simulation) retriesOf(c balance.Class) refmodel.Retries {
 	r := refmodel.Retries{Forbidden: c.Idempotency == balance.NonIdempotent}
 	if c.Idempotency != balance.IdempotencyKeyed {
 		return r
 	}
 	r.Within = c.KeyWindow
-	switch c.KeyScope { // where a server is never changes
+	switch c.KeyScope { // the place of a server never changes
 	case balance.ScopeZone:
 		r.AllowedOn = func(ran, to string) bool { return s.servers[ran].endpoint.Zone == s.servers[to].endpoint.Zone }
 	case balance.ScopeCell:
@@ -39,7 +39,7 @@
 	return r
 }
 
-// client is one request, as its client sees it.
+// runClient is one request, as its client sees it.
 func (s *simulation) runClient(leaves bool) {
 	s.mu.Lock()
 	s.lastID++
@@ -52,14 +52,14 @@
 	wait := 200*ms + s.randomDuration(800*ms)
 	near, far := net.Pipe()
 	defer far.Close()
-	s.record(func(b *refmodel.Checker, now time.Duration) { b.RequestArrived(now, id, now+wait, s.retriesOf(class)) })
+	s.record(func(c *refmodel.Checker, now time.Duration) { c.RequestArrived(now, id, now+wait, s.retriesOf(class)) })
 	s.clientConns <- &sharedConn{Conn: near}
 	if _, err := fmt.Fprintf(far, "OPEN %s k c=%s,d=%d\r\n", id, class.Name, wait.Milliseconds()); err != nil {
 		s.t.Errorf("%s: %v", id, err)
 	}
 	if leaves {
 		gone := time.AfterFunc(s.randomDuration(100*ms), func() {
-			s.record(func(b *refmodel.Checker, now time.Duration) { b.ClientLeft(now, id) })
+			s.record(func(c *refmodel.Checker, now time.Duration) { c.ClientLeft(now, id) })
 			far.Close()
 		})
 		defer gone.Stop()
@@ -74,7 +74,7 @@
 		switch word, _, _ := strings.Cut(lines.Text(), " "); {
 		case standing:
 			if lines.Text() == "MOVE" || lines.Text() == "BYE" {
-				return // pipes can't be half closed, so it need not wait for the end
+				return // pipes can't be half closed: the client need not wait for the end
 			}
 			if lines.Text() == "yes" {
 				time.Sleep(300 * ms)
@@ -95,8 +95,8 @@
 	}
 }
 
-// say writes a client's line. It is read to meanwhile, as sockets have buffers and pipes
-// have not.
+// sendLine writes a client's line while the client goes on reading: sockets have buffers and pipes
+// have none.
 func (s *simulation) sendLine(far net.Conn) {
 	s.background.Go(func() {
 		_ = far.SetWriteDeadline(time.Now().Add(time.Second))
@@ -104,9 +104,10 @@
 	})
 }
 
+// recordAnswer reports a final answer to the checker and counts it.
 func (s *simulation) recordAnswer(id, class, how string, a refmodel.Answer) {
-	s.record(func(b *refmodel.Checker, now time.Duration) {
-		b.RequestAnswered(now, id, a)
+	s.record(func(c *refmodel.Checker, now time.Duration) {
+		c.RequestAnswered(now, id, a)
 		s.answers[how]++
 		s.answersByClass[class+how]++
 	})
--- a/internal/refmodel/simulation_discovery_test.go
+++ b/internal/refmodel/simulation_discovery_test.go
@@ -1,7 +1,7 @@
 package refmodel_test
 
-// A scene's discovery, which is really asked: watches fall silent and calls fail, and
-// what it has counts as told in the end, whether or not it came.
+// A simulation's discovery, which the node polls: watches fall silent and calls fail, and a change
+// counts as notified in the end, whether or not its notification arrived.
 
 import (
 	"bufio"
@@ -17,16 +17,16 @@
 	"coralrelay/internal/refmodel"
 )
 
-// board is discovery. Its fields are under the scene's lock.
+// simDiscovery is a discovery service. The simulation's lock guards its fields.
 type simDiscovery struct {
 	sim            *simulation
-	watches        map[net.Conn]chan string // those that are told of changes
-	silencedAt     time.Time                // when all fell silent last
-	lastCallFailed bool                     // its last call was: of two in a row one is answered
-	fullLists      int                      // whole lists told
+	watches        map[net.Conn]chan string // those that are sent changes
+	silencedAt     time.Time                // when all watches last fell silent
+	lastCallFailed bool                     // of two calls in a row at least one succeeds
+	fullLists      int                      // full lists sent
 }
 
-// hush has all watches fall silent, unless they just did.
+// silenceWatches has all watches fall silent, unless they just did.
 func (d *simDiscovery) silenceWatches() bool {
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
@@ -38,17 +38,18 @@
 	return true
 }
 
-// instances words entries as discovery has them.
+// marshalInstances returns entries in discovery's JSON.
 func marshalInstances(entries ...discovery.Endpoint) string {
 	var list []string
 	for _, e := range entries {
-		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,"lifecycle":%q,"startedAtMs":%d}`,
-			e.ID, e.Addr, e.Zone, e.Cell, []string{"active", "leaving", "left"}[e.State], e.StartedAt/ms))
+		lifecycle := []string{"active", "leaving", "left"}[e.State]
+		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":"%s:1","zone":%q,"cell":%d,`+
+			`"lifecycle":%q,"startedAtMs":%d}`, e.ID, e.Addr, e.Zone, e.Cell, lifecycle, e.StartedAt/ms))
 	}
 	return strings.Join(list, ",")
 }
 
-// changed has the watches told of changes.
+// broadcast sends changes to the watches.
 func (d *simDiscovery) broadcast(entries ...discovery.Endpoint) {
 	d.sim.mu.Lock()
 	defer d.sim.mu.Unlock()
@@ -69,12 +70,12 @@
 			}
 		}
 		d.serveWatch(far)
-		_, _ = io.Copy(io.Discard, r) // silent until the node has enough of it
+		_, _ = io.Copy(io.Discard, r) // silent until the node gives up
 	})
 	return near, nil
 }
 
-// answer takes a call, and then tells of changes until the watch falls silent.
+// serveWatch answers a call, and then sends changes until the watch falls silent.
 func (d *simDiscovery) serveWatch(far net.Conn) {
 	d.sim.mu.Lock()
 	if d.lastCallFailed = !d.lastCallFailed && d.sim.rng.IntN(3) == 0; d.lastCallFailed {
@@ -99,7 +100,8 @@
 		delete(d.watches, far)
 		d.sim.mu.Unlock()
 	}()
-	word := fmt.Sprintf("HTTP/1.1 200 OK\r\n\r\n"+`{"generation":1,"reset":true,"instances":[%s]}`+"\n", marshalInstances(all...))
+	text := "HTTP/1.1 200 OK\r\n\r\n" +
+		fmt.Sprintf(`{"generation":1,"reset":true,"instances":[%s]}`+"\n", marshalInstances(all...))
 	for {
 		d.sim.mu.Lock()
 		silent := d.watches[far] == nil
@@ -107,18 +109,18 @@
 		if silent {
 			return
 		}
-		if _, err := io.WriteString(far, word); err != nil {
+		if _, err := io.WriteString(far, text); err != nil {
 			return
 		}
 		select {
-		case word = <-changes:
+		case text = <-changes:
 		case <-time.After(2 * time.Second):
-			word = "\n"
+			text = "\n"
 		}
 	}
 }
 
-// sink is how a node takes what discovery tells it: into the book first.
+// endpointSink reports discovery's updates to the checker, and then to the process.
 type endpointSink struct {
 	sim     *simulation
 	process *process
@@ -126,9 +128,9 @@
 
 func (k endpointSink) UpdateEndpoints(u discovery.Update) {
 	if u.Kind == balance.ListFull || u.Kind == balance.ListDelta {
-		k.sim.record(func(b *refmodel.Checker, now time.Duration) {
+		k.sim.record(func(c *refmodel.Checker, now time.Duration) {
 			for _, e := range u.Endpoints {
-				b.NodeNotified(now, e.ID, refmodel.ServerState(e.State), 0)
+				c.NodeNotified(now, e.ID, refmodel.ServerState(e.State), 0)
 			}
 		})
 		k.process.pool.Update(u.Kind == balance.ListFull, u.Endpoints, time.Now())
--- a/internal/refmodel/simulation_process_test.go
+++ b/internal/refmodel/simulation_process_test.go
@@ -1,6 +1,6 @@
 package refmodel_test
 
-// The processes of a scene, and how one takes over from another.
+// The processes of a simulation, and how one takes over from another.
 
 import (
 	"bytes"
@@ -19,7 +19,10 @@
 	"coralrelay/internal/upstream"
 )
 
-// node is one process.
+// poolLimits are the upstream limits of all processes.
+var poolLimits = upstream.Limits{ConnectTimeout: connectTimeout, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms}
+
+// process is one process of the node.
 type process struct {
 	eventLoop  *dispatch.EventLoop
 	pool       *upstream.Pool
@@ -29,11 +32,11 @@
 	goroutines sync.WaitGroup
 }
 
-// start starts a process, which is told what the last one was.
+// startProcess starts a process with the endpoints of the last one.
 func (s *simulation) startProcess(list ...discovery.Endpoint) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &process{listener: pipeListener{s.clientConns, make(chan struct{})}, cancel: cancel}
-	n.pool = upstream.New(ctx, upstream.Limits{ConnectTimeout: connectTimeout, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
+	n.pool = upstream.New(ctx, poolLimits)
 	n.pool.Dial = s.dialServer
 	var lists dispatch.Discovery = noDiscovery{}
 	watch := discovery.New("discovery:1", endpointSink{s, n})
@@ -68,16 +71,18 @@
 	n.eventLoop.UpdateEndpoints(u.ListUpdate())
 }
 
-// end lets a process end: at once, or as one that is replaced.
-func (s *simulation) endProcess(n *process, heir proxy.Successor) {
-	if heir == nil {
+// endProcess ends a process: at once, or as one that is replaced by next.
+func (s *simulation) endProcess(n *process, next proxy.Successor) {
+	if next == nil {
 		_ = n.listener.Close()
 	} else {
 		now := time.Now()
 		end := now.Add(1400 * ms)
-		n.server.Drain(downstream.DrainPlan{RejectAt: end, MoveStartAt: now, MoveEndAt: end, EndAt: end, Successor: heir})
+		n.server.Drain(downstream.DrainPlan{
+			RejectAt: end, MoveStartAt: now, MoveEndAt: end, EndAt: end, Successor: next,
+		})
 		if took := time.Since(now); took > 1400*ms {
-			s.t.Errorf("it took %v to leave", took)
+			s.t.Errorf("the drain took %v", took)
 		}
 		if left := n.server.OpenSessions(); left > 0 {
 			s.t.Errorf("%d connections were not answered, handed over or moved", left)
@@ -91,7 +96,7 @@
 	n.goroutines.Wait()
 }
 
-// replace has a successor take over from the node, which takes its time to end.
+// replaceProcess has a successor take over from the process, which ends in the background.
 func (s *simulation) replaceProcess() {
 	s.mu.Lock()
 	var list []discovery.Endpoint
@@ -121,21 +126,23 @@
 	})
 }
 
-// heir is the successor, as its socket would have it. Now and then it takes nothing.
+// successor is the process that takes over, as the hot restart's socket would present it. Now and
+// then it refuses a session.
 type successor struct {
 	sim    *simulation
 	server *downstream.Server
 }
 
-func (h successor) Take(st proxy.EstablishedSession, c, hop net.Conn) bool {
+func (h successor) Take(session proxy.EstablishedSession, client, endpoint net.Conn) bool {
 	if h.sim.chance(0.1) {
 		return false
 	}
-	st.FromClient, st.FromUpstream = bytes.Clone(st.FromClient), bytes.Clone(st.FromUpstream) // as the wire does
-	a, b := c.(*sharedConn), hop.(*sharedConn)
+	session.FromClient = bytes.Clone(session.FromClient) // as sending it does
+	session.FromUpstream = bytes.Clone(session.FromUpstream)
+	a, b := client.(*sharedConn), endpoint.(*sharedConn)
 	a.handedOver.Store(true)
 	b.handedOver.Store(true)
-	if h.server.Adopt(st, &sharedConn{Conn: a.Conn}, &sharedConn{Conn: b.Conn}) {
+	if h.server.Adopt(session, &sharedConn{Conn: a.Conn}, &sharedConn{Conn: b.Conn}) {
 		return true
 	}
 	a.handedOver.Store(false)
@@ -143,8 +150,8 @@
 	return false
 }
 
-// handle is a process's own copy of a connection: once another process has one too,
-// closing this one ends nothing.
+// sharedConn is one process's descriptor of a connection: once another process has one too, closing
+// this one does not end the connection.
 type sharedConn struct {
 	net.Conn
 	handedOver atomic.Bool
@@ -164,7 +171,7 @@
 	return h.Conn.SetReadDeadline(t)
 }
 
-// listener hands the node what clients dial.
+// pipeListener hands the node what clients dial.
 type pipeListener struct {
 	conns chan net.Conn
 	done  chan struct{}
@@ -178,9 +185,11 @@
 		return nil, net.ErrClosed
 	}
 }
+
 func (l pipeListener) Close() error { close(l.done); return nil }
 func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// noDiscovery is for processes whose list is pushed.
 type noDiscovery struct{}
 
 func (noDiscovery) Subscribe() {}
--- a/internal/refmodel/simulation_servers_test.go
+++ b/internal/refmodel/simulation_servers_test.go
@@ -1,6 +1,6 @@
 package refmodel_test
 
-// The feed servers of a scene.
+// The servers of a simulation.
 
 import (
 	"bufio"
@@ -15,28 +15,28 @@
 	"coralrelay/internal/refmodel"
 )
 
-// feed is a feed server as the scene has it.
+// simServer is a server of a simulation.
 type simServer struct {
 	id       string
-	conns    map[net.Conn]bool // that stand
+	conns    map[net.Conn]bool // established
 	endpoint discovery.Endpoint
 }
 
-// attempt is the node's end of a connection to a feed server. An attempt is out until
-// its server has answered or the node has closed it.
+// attempt is the node's end of a connection to a server. An attempt is in flight until its server
+// has answered or the node has closed it.
 type attempt struct {
 	net.Conn
 	sim      *simulation
-	id       string // under the lock; empty until its first line has come, or if it probes
+	id       string // guarded by the simulation's lock; empty before the first line, and for probes
 	finished bool
 }
 
-// over notes the attempt's end, once.
+// finish reports the attempt's end, once.
 func (a *attempt) finish(how refmodel.AttemptOutcome) {
-	a.sim.record(func(b *refmodel.Checker, now time.Duration) {
+	a.sim.record(func(c *refmodel.Checker, now time.Duration) {
 		if a.id != "" && !a.finished {
 			a.finished = true
-			b.AttemptEnded(now, a.id, how)
+			c.AttemptEnded(now, a.id, how)
 		}
 	})
 }
@@ -80,7 +80,7 @@
 	return &sharedConn{Conn: a}, nil
 }
 
-// serve is a feed server's side of one connection.
+// serveConn is the server's side of one connection.
 func (s *simulation) serveConn(server string, conn net.Conn, a *attempt) {
 	defer conn.Close()
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
@@ -92,10 +92,10 @@
 			}
 		case "OPEN":
 			id, _, _ := strings.Cut(rest, " ")
-			s.record(func(b *refmodel.Checker, now time.Duration) {
+			s.record(func(c *refmodel.Checker, now time.Duration) {
 				a.id = id
 				s.attemptsRead++
-				b.AttemptSent(now, id, server)
+				c.AttemptSent(now, id, server)
 			})
 			if !s.answerOpen(server, conn, a) {
 				return
@@ -106,12 +106,12 @@
 	}
 }
 
-// report answers a probe, now and then late, never, or with what can't be true.
+// answerLoadProbe answers a probe, now and then late, never, or with an impossible load.
 func (s *simulation) answerLoadProbe(server string, conn net.Conn) bool {
 	s.mu.Lock()
 	conns := len(s.servers[server].conns)
 	s.mu.Unlock()
-	x0 := fmt.Sprint(float64(conns) / s.capacity)
+	x0 := fmt.Sprint(float64(conns) / s.config.capacity)
 	switch {
 	case s.chance(0.05):
 		time.Sleep(600 * ms)
@@ -125,11 +125,11 @@
 	return err == nil
 }
 
-// open answers a first line, and serves what then stands. It is false at its end.
+// answerOpen answers a first line and serves the connection. It is false if the connection ended.
 func (s *simulation) answerOpen(server string, conn net.Conn, a *attempt) bool {
 	time.Sleep(s.randomDuration(60 * ms))
 	switch {
-	case s.faults.isFullFleet(): // all that it is sent, which is the point
+	case s.faults.isFullFleet(): // it accepts everything, so that it can be overloaded
 	case s.chance(0.12):
 		a.finish(refmodel.NotRun)
 		fmt.Fprintf(conn, "BUSY\r\n")
@@ -141,7 +141,7 @@
 	case s.chance(0.05):
 		a.finish(refmodel.NoReply)
 		return false
-	case s.chance(0.05): // hangs until the node has enough of it
+	case s.chance(0.05): // hangs until the node gives up
 		_, _ = conn.Read(make([]byte, 1))
 		return false
 	}
@@ -151,9 +151,9 @@
 	s.mu.Lock()
 	s.servers[server].conns[conn] = true
 	s.mu.Unlock()
-	lasts := ms + s.randomDuration(2*meanConnLifetime) // its client has noted the answer by then
-	s.background.Go(func() {                           // its end, unless the other side's comes before
-		time.Sleep(lasts)
+	lifetime := ms + s.randomDuration(2*meanConnLifetime) // its client has noted the answer by then
+	s.background.Go(func() {                              // its end, unless the other side's comes before
+		time.Sleep(lifetime)
 		if s.chance(0.5) {
 			_ = conn.SetWriteDeadline(time.Now().Add(ms))
 			fmt.Fprintf(conn, "BYE\r\n")
--- a/internal/refmodel/transcript_test.go
+++ b/internal/refmodel/transcript_test.go
@@ -6,14 +6,14 @@
 	"time"
 )
 
-// talk is what was said on connections, as their two ends saw it.
+// transcript is what was sent and received on connections, as their two ends saw it.
 type transcript struct {
 	mu           sync.Mutex
-	sentAt       map[string]time.Time // by connection, direction and number: when it was taken from its sender
-	received     map[string]int       // and how often it came to the other end
-	lastReceived map[string]int       // the number that came last
-	movedAt      map[string]time.Time // when a caller was told to go
-	endedAt      map[string]time.Time // when its connection had ended
+	sentAt       map[string]time.Time // by lineKey: when its sender had written it
+	received     map[string]int       // by lineKey: how often it reached the other end
+	lastReceived map[string]int       // by connection and direction: the last line received
+	movedAt      map[string]time.Time // by connection: when it was sent MOVE
+	endedAt      map[string]time.Time // by connection: when it had ended
 	violations   []string
 }
 
@@ -22,6 +22,7 @@
 		movedAt: map[string]time.Time{}, endedAt: map[string]time.Time{}}
 }
 
+// lineKey names a line by connection, direction and number.
 func lineKey(id, way string, n int) string { return fmt.Sprint(id, " ", way, " ", n) }
 
 func (k *transcript) recordSent(id, way string, n int) {
@@ -46,26 +47,27 @@
 	at[id] = time.Now()
 }
 
-// broken tells what was lost of connections that stood, and which ended without MOVE. What
-// is taken at the moment of a MOVE may have crossed it.
-func (k *transcript) findLosses(callers []string) []string {
+// findLosses returns the lines that were lost or came twice, and the connections that ended without
+// MOVE. A line that was written at the moment of the MOVE may have crossed it.
+func (k *transcript) findLosses(clients []string) []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	wrong := k.violations
-	for _, id := range callers {
-		moved, told := k.movedAt[id]
-		if !told {
-			wrong = append(wrong, fmt.Sprintf("%s was let go of without MOVE (ended: %v)", id, k.endedAt[id]))
+	for _, id := range clients {
+		moved, wasMoved := k.movedAt[id]
+		if !wasMoved {
+			wrong = append(wrong, fmt.Sprintf("%s was closed without MOVE (ended: %v)", id, k.endedAt[id]))
 			continue
 		}
 		for _, way := range []string{"up", "down"} {
 			for n := 1; ; n++ {
-				at, said := k.sentAt[lineKey(id, way, n)]
-				if !said {
+				at, wasSent := k.sentAt[lineKey(id, way, n)]
+				if !wasSent {
 					break
 				}
-				if at.Before(moved) && k.received[lineKey(id, way, n)] != 1 {
-					wrong = append(wrong, fmt.Sprintf("%s, said %v before MOVE, came %d times", lineKey(id, way, n), moved.Sub(at), k.received[lineKey(id, way, n)]))
+				if received := k.received[lineKey(id, way, n)]; at.Before(moved) && received != 1 {
+					wrong = append(wrong, fmt.Sprintf("%s, sent %v before MOVE, was received %d times",
+						lineKey(id, way, n), moved.Sub(at), received))
 				}
 			}
 		}
