--- a/internal/scenario/faultproxy/party.go
+++ b/internal/scenario/faultproxy/party.go
@@ -8,25 +8,25 @@
 )
 
 // streams bounds the connections of one listener at once.
-const streams = 512
+const maxStreams = 512
 
 // party is who speaks or is spoken to.
 type party struct {
-	name, zone string
-	said       uint64 // bytes
-	lost       uint64 // datagrams of its that the relay dropped
-	doors      []*door
+	name, zone       string
+	sentBytes        uint64 // bytes
+	droppedDatagrams uint64 // datagrams of its that the relay dropped
+	listeners        []*listener
 }
 
 // door is one of the relay's addresses for a party.
-type door struct {
-	p       *party
-	speaker string // who alone comes here; empty for whoever his address tells
-	to      string // where the party listens
-	at      string // where the relay does
-	room    chan struct{}
-	udp     *net.UDPConn // nil where the party has streams only
-	tcp     net.Listener // nil while the party is down
+type listener struct {
+	party       *party
+	client      string // who alone comes here; empty for whoever his address tells
+	target      string // where the party listens
+	addr        string // where the relay does
+	slots       chan struct{}
+	udpConn     *net.UDPConn // nil where the party has streams only
+	tcpListener net.Listener // nil while the party is down
 }
 
 // party returns who has a name; the lock is held.
@@ -54,55 +54,55 @@
 	if err != nil {
 		return "", fmt.Errorf("party %s: %w", name, err)
 	}
-	d, err := r.open(name, "", listens, at)
+	d, err := r.addListener(name, "", listens, at)
 	if err != nil {
 		return "", err
 	}
-	addr := d.tcp.Addr().(*net.TCPAddr)
-	if d.udp, err = net.ListenUDP("udp", &net.UDPAddr{IP: addr.IP, Port: addr.Port}); err != nil {
-		_ = d.tcp.Close()
+	addr := d.tcpListener.Addr().(*net.TCPAddr)
+	if d.udpConn, err = net.ListenUDP("udp", &net.UDPAddr{IP: addr.IP, Port: addr.Port}); err != nil {
+		_ = d.tcpListener.Close()
 		return "", fmt.Errorf("party %s: %w", name, err)
 	}
 	r.mu.Lock()
-	r.byIP[to.Addr()] = name
+	r.partyByIP[to.Addr()] = name
 	r.mu.Unlock()
-	context.AfterFunc(r.ctx, func() { _ = d.udp.Close() })
-	r.wg.Go(func() { r.datagrams(d, net.UDPAddrFromAddrPort(to)) })
-	r.admit(d)
-	return d.at, nil
+	context.AfterFunc(r.ctx, func() { _ = d.udpConn.Close() })
+	r.wg.Go(func() { r.forwardDatagrams(d, net.UDPAddrFromAddrPort(to)) })
+	r.startAccepting(d)
+	return d.addr, nil
 }
 
 // AddFor takes a party that listens for streams, and returns the address at which one
 // speaker reaches it: who comes there is he, wherever he speaks from.
 func (r *Proxy) AddFor(speaker, name, listens, at string) (string, error) {
-	d, err := r.open(name, speaker, listens, at)
+	d, err := r.addListener(name, speaker, listens, at)
 	if err != nil {
 		return "", err
 	}
-	r.admit(d)
-	return d.at, nil
+	r.startAccepting(d)
+	return d.addr, nil
 }
 
 // open makes a door whose streams nobody takes yet.
-func (r *Proxy) open(name, speaker, listens, at string) (*door, error) {
+func (r *Proxy) addListener(name, speaker, listens, at string) (*listener, error) {
 	tcp, err := net.Listen("tcp", net.JoinHostPort(at, "0"))
 	if err != nil {
 		return nil, fmt.Errorf("party %s: %w", name, err)
 	}
-	d := &door{speaker: speaker, to: listens, at: tcp.Addr().String(), room: make(chan struct{}, streams), tcp: tcp}
+	d := &listener{client: speaker, target: listens, addr: tcp.Addr().String(), slots: make(chan struct{}, maxStreams), tcpListener: tcp}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d.p = r.party(name)
+	d.party = r.party(name)
 	if speaker != "" {
 		r.party(speaker)
 	}
-	d.p.doors = append(d.p.doors, d)
+	d.party.listeners = append(d.party.listeners, d)
 	return d, nil
 }
 
 // admit takes a door's streams until its listener is closed.
-func (r *Proxy) admit(d *door) {
-	l := d.tcp
+func (r *Proxy) startAccepting(d *listener) {
+	l := d.tcpListener
 	context.AfterFunc(r.ctx, func() { _ = l.Close() })
 	r.wg.Go(func() { r.accept(d, l) })
 }
@@ -113,18 +113,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.party(name)
-	for _, d := range p.doors {
+	for _, d := range p.listeners {
 		switch {
-		case gone && d.tcp != nil:
-			_ = d.tcp.Close()
-			d.tcp = nil
-		case !gone && d.tcp == nil:
-			l, err := net.Listen("tcp", d.at)
+		case gone && d.tcpListener != nil:
+			_ = d.tcpListener.Close()
+			d.tcpListener = nil
+		case !gone && d.tcpListener == nil:
+			l, err := net.Listen("tcp", d.addr)
 			if err != nil {
 				return fmt.Errorf("party %s: %w", name, err)
 			}
-			d.tcp = l
-			r.admit(d)
+			d.tcpListener = l
+			r.startAccepting(d)
 		}
 	}
 	return nil
@@ -135,15 +135,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.parties[name]; p != nil {
-		return p.said, p.lost
+		return p.sentBytes, p.droppedDatagrams
 	}
 	return 0, 0
 }
 
 // speaker names who speaks from an address.
-func (r *Proxy) speaker(a netip.Addr) (string, bool) {
+func (r *Proxy) partyAt(a netip.Addr) (string, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name, ok := r.byIP[a.Unmap()]
+	name, ok := r.partyByIP[a.Unmap()]
 	return name, ok
 }
--- a/internal/scenario/faultproxy/fault.go
+++ b/internal/scenario/faultproxy/proxy.go
@@ -28,7 +28,7 @@
 }
 
 // resend is how long what was lost on a stream takes to come again.
-const resend = 200 * time.Millisecond
+const retransmitDelay = 200 * time.Millisecond
 
 // Relay stands between parties.
 type Proxy struct {
@@ -37,30 +37,30 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu      sync.Mutex
-	parties map[string]*party
-	byIP    map[netip.Addr]string
-	faults  map[[2]string]Fault // by who speaks and who is spoken to
-	zones   map[[2]string]Fault // likewise, by their zones
-	rngs    map[[2]string]*rand.Rand
-	held    int
-	changed chan struct{} // closed when faults change
+	mu               sync.Mutex
+	parties          map[string]*party
+	partyByIP        map[netip.Addr]string
+	partyFaults      map[[2]string]Fault // by who speaks and who is spoken to
+	zoneFaults       map[[2]string]Fault // likewise, by their zones
+	rngs             map[[2]string]*rand.Rand
+	delayedDatagrams int
+	changed          chan struct{} // closed when faults change
 }
 
 // New returns a relay without parties. What it drops follows from the seed and from the
 // order in which each party's datagrams come.
 func New(seed uint64) *Proxy {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Proxy{seed: seed, ctx: ctx, cancel: cancel, parties: map[string]*party{}, byIP: map[netip.Addr]string{},
-		faults: map[[2]string]Fault{}, zones: map[[2]string]Fault{}, rngs: map[[2]string]*rand.Rand{}, changed: make(chan struct{})}
+	return &Proxy{seed: seed, ctx: ctx, cancel: cancel, parties: map[string]*party{}, partyByIP: map[netip.Addr]string{},
+		partyFaults: map[[2]string]Fault{}, zoneFaults: map[[2]string]Fault{}, rngs: map[[2]string]*rand.Rand{}, changed: make(chan struct{})}
 }
 
 // Set puts a fault on what one party says to another; a zero Fault takes it away.
 func (r *Proxy) Set(from, to string, f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.faults[[2]string{from, to}] = f
-	r.news()
+	r.partyFaults[[2]string{from, to}] = f
+	r.notifyChanged()
 }
 
 // Zones puts a fault on all that parties of one zone say to those of another, one way. It
@@ -68,8 +68,8 @@
 func (r *Proxy) SetBetweenZones(from, to string, f Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.zones[[2]string{from, to}] = f
-	r.news()
+	r.zoneFaults[[2]string{from, to}] = f
+	r.notifyChanged()
 }
 
 // Between puts a fault on all that passes between two sides, both ways.
@@ -84,23 +84,23 @@
 	defer r.mu.Unlock()
 	for _, a := range from {
 		for _, b := range to {
-			r.faults[[2]string{a, b}] = f
+			r.partyFaults[[2]string{a, b}] = f
 		}
 	}
-	r.news()
+	r.notifyChanged()
 }
 
 // Heal takes all faults away. Streams that were cut end: what was lost of them is lost.
 func (r *Proxy) Heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.faults)
-	clear(r.zones)
-	r.news()
+	clear(r.partyFaults)
+	clear(r.zoneFaults)
+	r.notifyChanged()
 }
 
 // news wakes whoever is held up by a fault.
-func (r *Proxy) news() {
+func (r *Proxy) notifyChanged() {
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -112,16 +112,16 @@
 }
 
 // between is the fault on what one party says to another; the lock is held.
-func (r *Proxy) between(from, to string) Fault {
-	return r.faults[[2]string{from, to}].with(r.zones[[2]string{r.parties[from].zone, r.parties[to].zone}])
+func (r *Proxy) faultBetween(from, to string) Fault {
+	return r.partyFaults[[2]string{from, to}].with(r.zoneFaults[[2]string{r.parties[from].zone, r.parties[to].zone}])
 }
 
 // fate draws what becomes of n bytes: how often they arrive and how late.
-func (r *Proxy) fate(from, to string, n int, datagram bool) (copies int, delay time.Duration) {
+func (r *Proxy) drawFate(from, to string, n int, datagram bool) (copies int, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	pair := [2]string{from, to}
-	f, rng := r.between(from, to), r.rngs[pair]
+	f, rng := r.faultBetween(from, to), r.rngs[pair]
 	if rng == nil {
 		h := r.seed
 		for _, b := range []byte(from + ">" + to) {
@@ -139,30 +139,30 @@
 	case drop && datagram:
 		copies = 0
 	case drop:
-		delay += resend
+		delay += retransmitDelay
 	case twice && datagram:
 		copies = 2
 	}
 	p := r.parties[from]
-	p.said += uint64(n)
+	p.sentBytes += uint64(n)
 	if copies == 0 {
-		p.lost++
+		p.droppedDatagrams++
 	}
 	return copies, delay
 }
 
 // cut tells whether nothing passes from one party to another, and when to look again.
-func (r *Proxy) cut(from, to string) (bool, <-chan struct{}) {
+func (r *Proxy) isCut(from, to string) (bool, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.between(from, to).Cut, r.changed
+	return r.faultBetween(from, to).Cut, r.changed
 }
 
 // wait waits while nothing passes from one party to another; held tells whether it had to.
 // It is false where ctx ended first.
-func (r *Proxy) wait(ctx context.Context, from, to string) (held, ok bool) {
+func (r *Proxy) waitWhileCut(ctx context.Context, from, to string) (held, ok bool) {
 	for {
-		cut, changed := r.cut(from, to)
+		cut, changed := r.isCut(from, to)
 		if !cut {
 			return held, true
 		}
--- a/internal/scenario/faultproxy/streams_test.go
+++ b/internal/scenario/faultproxy/streams_test.go
@@ -30,7 +30,7 @@
 }
 
 // call opens a stream from the mouth, or from anywhere.
-func call(to string, mouth bool) (net.Conn, error) {
+func dialProxy(to string, mouth bool) (net.Conn, error) {
 	d := net.Dialer{Timeout: 5 * time.Second}
 	if mouth {
 		d.LocalAddr = &net.TCPAddr{IP: net.IPv4(127, 0, 3, 1)}
@@ -39,7 +39,7 @@
 }
 
 // said says a line and returns what came back.
-func said(conn net.Conn, text string, patience time.Duration) (string, error) {
+func exchangeLine(conn net.Conn, text string, patience time.Duration) (string, error) {
 	_ = conn.SetDeadline(time.Now().Add(patience))
 	fmt.Fprintln(conn, text)
 	answer := make([]byte, len(text)+1)
@@ -47,9 +47,9 @@
 	return string(answer[:n]), err
 }
 
-const soon, shortly = 5 * time.Second, 100 * time.Millisecond
+const longTimeout, shortTimeout = 5 * time.Second, 100 * time.Millisecond
 
-func TestStreams(t *testing.T) {
+func TestStreamFaults(t *testing.T) {
 	silent := os.ErrDeadlineExceeded
 	for _, tt := range []struct {
 		name         string
@@ -59,46 +59,46 @@
 		heard        bool  // what it says all the same
 		least, below time.Duration
 	}{
-		{"no fault", func(*Proxy) {}, nil, nil, true, 0, soon},
-		{"cut both ways", func(r *Proxy) { r.SetBetween([]string{"mouth"}, []string{"ear"}, Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"cut there", func(r *Proxy) { r.Set("mouth", "ear", Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"cut back", func(r *Proxy) { r.Set("ear", "mouth", Fault{Cut: true}) }, silent, silent, true, 0, soon},
-		{"zones cut", func(r *Proxy) { r.SetBetweenZones("a", "b", Fault{Cut: true}) }, silent, silent, false, 0, soon},
-		{"another pair of zones cut", func(r *Proxy) { r.SetBetweenZones("b", "b", Fault{Cut: true}) }, nil, nil, true, 0, soon},
+		{"no fault", func(*Proxy) {}, nil, nil, true, 0, longTimeout},
+		{"cut both ways", func(r *Proxy) { r.SetBetween([]string{"mouth"}, []string{"ear"}, Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
+		{"cut there", func(r *Proxy) { r.Set("mouth", "ear", Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
+		{"cut back", func(r *Proxy) { r.Set("ear", "mouth", Fault{Cut: true}) }, silent, silent, true, 0, longTimeout},
+		{"zones cut", func(r *Proxy) { r.SetBetweenZones("a", "b", Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
+		{"another pair of zones cut", func(r *Proxy) { r.SetBetweenZones("b", "b", Fault{Cut: true}) }, nil, nil, true, 0, longTimeout},
 		{"delays add", func(r *Proxy) {
 			r.SetBetweenZones("a", "b", Fault{Delay: 30 * time.Millisecond})
 			r.Set("mouth", "ear", Fault{Delay: 20 * time.Millisecond})
 			r.SetBetweenZones("b", "a", Fault{Delay: 40 * time.Millisecond})
-		}, nil, nil, true, 90 * time.Millisecond, soon},
+		}, nil, nil, true, 90 * time.Millisecond, longTimeout},
 	} {
-		e := newEnds(t, 1)
-		e.r.SetZone("mouth", "a")
-		e.r.SetZone("ear", "b")
+		e := newTestParties(t, 1)
+		e.proxy.SetZone("mouth", "a")
+		e.proxy.SetZone("ear", "b")
 		heard := make(chan string, 10)
-		go echo(e.stream, heard)
-		patience := soon
+		go echo(e.listener, heard)
+		patience := longTimeout
 		if tt.stands != nil {
-			patience = shortly
+			patience = shortTimeout
 		}
-		stands, err := call(e.to, true)
+		stands, err := dialProxy(e.addr, true)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := said(stands, "first", soon); err != nil {
+		if _, err := exchangeLine(stands, "first", longTimeout); err != nil {
 			t.Fatal(err)
 		}
 		<-heard
-		tt.fault(e.r)
+		tt.fault(e.proxy)
 		begun := time.Now()
-		if _, err := said(stands, "standing", patience); !errors.Is(err, tt.stands) {
+		if _, err := exchangeLine(stands, "standing", patience); !errors.Is(err, tt.stands) {
 			t.Errorf("%s: one that stood: %v, want %v", tt.name, err, tt.stands)
 		}
 		if took := time.Since(begun); took < tt.least || took > tt.below {
 			t.Errorf("%s: an answer after %v, want %v to %v", tt.name, took, tt.least, tt.below)
 		}
-		fresh, err := call(e.to, true)
+		fresh, err := dialProxy(e.addr, true)
 		if err == nil {
-			_, err = said(fresh, "fresh", patience)
+			_, err = exchangeLine(fresh, "fresh", patience)
 		}
 		if !errors.Is(err, tt.fresh) {
 			t.Errorf("%s: a new one: %v, want %v", tt.name, err, tt.fresh)
@@ -106,15 +106,15 @@
 		if tt.heard != (len(heard) > 0) {
 			t.Errorf("%s: %d lines heard, want some: %v", tt.name, len(heard), tt.heard)
 		}
-		e.r.Heal()
+		e.proxy.Heal()
 		if tt.fresh != nil { // what was lost is lost: the stream ends, and a new one is made
-			_ = fresh.SetDeadline(time.Now().Add(soon))
+			_ = fresh.SetDeadline(time.Now().Add(longTimeout))
 			if n, err := fresh.Read(make([]byte, 1)); n > 0 || errors.Is(err, silent) {
 				t.Errorf("%s: healed, a cut stream goes on: %v", tt.name, err)
 			}
-			again, err := call(e.to, true)
+			again, err := dialProxy(e.addr, true)
 			if err == nil {
-				_, err = said(again, "again", soon)
+				_, err = exchangeLine(again, "again", longTimeout)
 			}
 			if err != nil {
 				t.Errorf("%s: healed: %v", tt.name, err)
@@ -125,36 +125,36 @@
 
 // Two speakers from one address are told apart by where they come; a party whose process is
 // gone refuses, and takes again at the same address.
-func TestDoors(t *testing.T) {
-	e := newEnds(t, 1)
+func TestListenerNamesItsClient(t *testing.T) {
+	e := newTestParties(t, 1)
 	heard := make(chan string, 10)
-	go echo(e.stream, heard)
+	go echo(e.listener, heard)
 	at := map[string]string{}
 	for _, name := range []string{"n0", "n1"} {
 		var err error
-		if at[name], err = e.r.AddFor(name, "s0", e.stream.Addr().String(), "127.0.4.3"); err != nil {
+		if at[name], err = e.proxy.AddFor(name, "s0", e.listener.Addr().String(), "127.0.4.3"); err != nil {
 			t.Fatal(err)
 		}
 	}
-	e.r.Set("n0", "s0", Fault{Cut: true})
+	e.proxy.Set("n0", "s0", Fault{Cut: true})
 	for name, want := range map[string]error{"n0": os.ErrDeadlineExceeded, "n1": nil} {
-		patience := soon
+		patience := longTimeout
 		if want != nil {
-			patience = shortly
+			patience = shortTimeout
 		}
-		conn, err := call(at[name], false)
+		conn, err := dialProxy(at[name], false)
 		if err == nil {
-			_, err = said(conn, name, patience)
+			_, err = exchangeLine(conn, name, patience)
 		}
 		if !errors.Is(err, want) {
 			t.Errorf("%s: %v, want %v", name, err, want)
 		}
 	}
 	for _, gone := range []bool{true, false} {
-		if err := e.r.SetDown("s0", gone); err != nil {
+		if err := e.proxy.SetDown("s0", gone); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := call(at["n1"], false); errors.Is(err, syscall.ECONNREFUSED) != gone {
+		if _, err := dialProxy(at["n1"], false); errors.Is(err, syscall.ECONNREFUSED) != gone {
 			t.Errorf("gone %v: %v", gone, err)
 		}
 	}
