faultproxy: streams, directions and faults are apart; typed pairs and fates

The same draws in the same order. TestStreamFaults is split, its cases have names and the same bounds.

--- a/internal/scenario/faultproxy/datagrams.go
+++ b/internal/scenario/faultproxy/datagrams.go
@@ -1,53 +1,61 @@
 package faultproxy
 
 import (
+	"bytes"
 	"net"
 	"time"
 )
 
-// late bounds the datagrams that are held back at once; beyond that they are lost.
-const maxDelayedDatagrams = 4096
+const (
+	// maxDelayedDatagrams is how many datagrams can be delayed at once; others are lost.
+	maxDelayedDatagrams = 4096
+	datagramBufferSize  = 64 << 10 // in bytes
+)
 
-// datagrams passes on what comes for a party.
-func (r *Proxy) forwardDatagrams(d *listener, to *net.UDPAddr) {
-	buf := make([]byte, 64<<10)
+// forwardDatagrams forwards what arrives on a listener until the proxy is closed.
+func (p *Proxy) forwardDatagrams(l *listener, to *net.UDPAddr) {
+	buffer := make([]byte, datagramBufferSize)
 	for {
-		n, addr, err := d.udpConn.ReadFromUDPAddrPort(buf)
-		if r.ctx.Err() != nil {
+		n, addr, err := l.udpConn.ReadFromUDPAddrPort(buffer)
+		if p.ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			continue // an answer that a datagram could not be delivered
+			continue // an ICMP error for a datagram that could not be delivered
 		}
-		from, ok := r.partyAt(addr.Addr())
+		from, ok := p.partyAt(addr.Addr())
 		if !ok {
 			continue
 		}
-		copies, delay := r.drawFate(from, d.party.name, n, true)
-		for range copies {
-			if delay == 0 {
-				_, _ = d.udpConn.WriteToUDP(buf[:n], to)
-				continue
-			}
-			if !r.addDelayed(1) {
-				continue
+		f := p.drawDatagramFate(pair{from, l.party.name}, n)
+		for range f.copies {
+			if f.delay == 0 {
+				_, _ = l.udpConn.WriteToUDP(buffer[:n], to)
+			} else {
+				p.forwardLater(l, bytes.Clone(buffer[:n]), to, f.delay)
 			}
-			held := append([]byte(nil), buf[:n]...)
-			time.AfterFunc(delay, func() {
-				r.addDelayed(-1)
-				_, _ = d.udpConn.WriteToUDP(held, to) // an error once the relay has ended
-			})
 		}
 	}
 }
 
-// hold counts datagrams that are held back, and tells whether there is room for n more.
-func (r *Proxy) addDelayed(n int) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.delayedDatagrams+n > maxDelayedDatagrams {
+// forwardLater forwards a datagram after a delay, unless too many are delayed already.
+func (p *Proxy) forwardLater(l *listener, datagram []byte, to *net.UDPAddr, delay time.Duration) {
+	if !p.addDelayed(1) {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		p.addDelayed(-1)
+		_, _ = l.udpConn.WriteToUDP(datagram, to) // fails once the proxy is closed
+	})
+}
+
+// addDelayed counts n more delayed datagrams. It returns false if these are too many.
+func (p *Proxy) addDelayed(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.delayedDatagrams+n > maxDelayedDatagrams {
 		return false
 	}
-	r.delayedDatagrams += n
+	p.delayedDatagrams += n
 	return true
 }
--- a/internal/scenario/faultproxy/datagrams_test.go
+++ b/internal/scenario/faultproxy/datagrams_test.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// ends are two parties, one that speaks and one that listens.
+// testParties are two parties of a proxy: the sender is called mouth there, the receiver ear.
 type testParties struct {
 	proxy    *Proxy
-	addr     string       // where the listener is reached
-	receiver *net.UDPConn // its datagrams
+	addr     string // where the proxy listens for the receiver
+	receiver *net.UDPConn
 	sender   *net.UDPConn
 	listener net.Listener
 }
@@ -43,8 +43,8 @@
 	return e
 }
 
-// say sends n datagrams and returns how often each arrived; the last is sent without a
-// fault until it has, and ends the count.
+// sendDatagrams sends n datagrams under a fault and returns how often each arrived. A last one is
+// sent without a fault and ends the count.
 func (e *testParties) sendDatagrams(t *testing.T, n int, f Fault) map[string]int {
 	t.Helper()
 	to, err := net.ResolveUDPAddr("udp", e.addr)
@@ -57,7 +57,7 @@
 		if _, err := e.sender.WriteToUDP([]byte(fmt.Sprintf("%4d", i)), to); err != nil {
 			t.Fatal(err)
 		}
-		for said := before; said == before; said, _ = e.proxy.Transferred("mouth") { // the relay has it
+		for sent := before; sent == before; sent, _ = e.proxy.Transferred("mouth") { // the proxy has it
 			runtime.Gosched()
 		}
 	}
@@ -65,7 +65,7 @@
 	if _, err := e.sender.WriteToUDP([]byte("last"), to); err != nil {
 		t.Fatal(err)
 	}
-	heard := map[string]int{}
+	received := map[string]int{}
 	buf := make([]byte, 100)
 	for {
 		if err := e.receiver.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
@@ -76,9 +76,9 @@
 			t.Fatal(err)
 		}
 		if string(buf[:m]) == "last" {
-			return heard
+			return received
 		}
-		heard[string(buf[:m])]++
+		received[string(buf[:m])]++
 	}
 }
 
@@ -94,19 +94,19 @@
 		{"all twice", Fault{Duplicate: 1}, 200, 200},
 	} {
 		var first map[string]int
-		for range 2 { // the same seed, the same fate
+		for range 2 { // the same seed, the same losses
 			all := 0
-			heard := newTestParties(t, 3).sendDatagrams(t, 100, tt.fault)
-			for _, n := range heard {
+			received := newTestParties(t, 3).sendDatagrams(t, 100, tt.fault)
+			for _, n := range received {
 				all += n
 			}
 			if all < tt.least || all > tt.most {
 				t.Errorf("%s: %d of 100 arrived, want %d to %d", tt.name, all, tt.least, tt.most)
 			}
-			if first != nil && fmt.Sprint(first) != fmt.Sprint(heard) {
+			if first != nil && fmt.Sprint(first) != fmt.Sprint(received) {
 				t.Errorf("%s: two runs differ", tt.name)
 			}
-			first = heard
+			first = received
 		}
 	}
 }
--- a/internal/scenario/faultproxy/party.go
+++ b/internal/scenario/faultproxy/party.go
@@ -7,143 +7,148 @@
 	"net/netip"
 )
 
-// streams bounds the connections of one listener at once.
+// maxStreams is how many streams a listener has at once; further ones are closed.
 const maxStreams = 512
 
-// party is who speaks or is spoken to.
+// party is a process that sends or receives.
 type party struct {
 	name, zone       string
-	sentBytes        uint64 // bytes
-	droppedDatagrams uint64 // datagrams of its that the relay dropped
+	sentBytes        uint64
+	droppedDatagrams uint64 // of those it sent; reads of a stream that is cut count too
 	listeners        []*listener
 }
 
-// door is one of the relay's addresses for a party.
+// listener is one of the proxy's addresses for a party.
 type listener struct {
 	party       *party
-	client      string // who alone comes here; empty for whoever his address tells
-	target      string // where the party listens
-	addr        string // where the relay does
+	client      string // the only one that uses it; empty if the client is known by its IP
+	target      string // the address on which the party listens
+	addr        string // the address on which the proxy listens
 	slots       chan struct{}
-	udpConn     *net.UDPConn // nil where the party has streams only
+	udpConn     *net.UDPConn // nil if the party has streams only
 	tcpListener net.Listener // nil while the party is down
 }
 
-// party returns who has a name; the lock is held.
-func (r *Proxy) party(name string) *party {
-	p := r.parties[name]
-	if p == nil {
-		p = &party{name: name}
-		r.parties[name] = p
+// party returns the party of a name, which it adds if need be; the lock is held.
+func (p *Proxy) party(name string) *party {
+	one := p.parties[name]
+	if one == nil {
+		one = &party{name: name}
+		p.parties[name] = one
 	}
-	return p
+	return one
 }
 
-// Place says in which zone a party is.
-func (r *Proxy) SetZone(name, zone string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.party(name).zone = zone
+// SetZone sets the zone of a party.
+func (p *Proxy) SetZone(name, zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.party(name).zone = zone
 }
 
-// Add takes a party that listens at an address, TCP and UDP, and speaks from its IP. It
-// returns the address at which the others reach it: at is an IP, the port is the system's
-// choice. A party may listen at several addresses of one IP.
-func (r *Proxy) Add(name, listens, at string) (string, error) {
-	to, err := netip.ParseAddrPort(listens)
+// Add adds a party that listens on an address, TCP and UDP, and sends from its IP. It returns the
+// address at which the others reach it: ip is its IP, the port is the system's choice. A party may
+// listen on several addresses of one IP.
+func (p *Proxy) Add(name, target, ip string) (addr string, err error) {
+	targetAddr, err := netip.ParseAddrPort(target)
 	if err != nil {
 		return "", fmt.Errorf("party %s: %w", name, err)
 	}
-	d, err := r.addListener(name, "", listens, at)
+	l, err := p.addListener(name, "", target, ip)
 	if err != nil {
 		return "", err
 	}
-	addr := d.tcpListener.Addr().(*net.TCPAddr)
-	if d.udpConn, err = net.ListenUDP("udp", &net.UDPAddr{IP: addr.IP, Port: addr.Port}); err != nil {
-		_ = d.tcpListener.Close()
+	tcpAddr := l.tcpListener.Addr().(*net.TCPAddr)
+	if l.udpConn, err = net.ListenUDP("udp", &net.UDPAddr{IP: tcpAddr.IP, Port: tcpAddr.Port}); err != nil {
+		_ = l.tcpListener.Close()
 		return "", fmt.Errorf("party %s: %w", name, err)
 	}
-	r.mu.Lock()
-	r.partyByIP[to.Addr()] = name
-	r.mu.Unlock()
-	context.AfterFunc(r.ctx, func() { _ = d.udpConn.Close() })
-	r.wg.Go(func() { r.forwardDatagrams(d, net.UDPAddrFromAddrPort(to)) })
-	r.startAccepting(d)
-	return d.addr, nil
+	p.mu.Lock()
+	p.partyByIP[targetAddr.Addr()] = name
+	p.mu.Unlock()
+	context.AfterFunc(p.ctx, func() { _ = l.udpConn.Close() })
+	p.wg.Go(func() { p.forwardDatagrams(l, net.UDPAddrFromAddrPort(targetAddr)) })
+	p.startAccepting(l)
+	return l.addr, nil
 }
 
-// AddFor takes a party that listens for streams, and returns the address at which one
-// speaker reaches it: who comes there is he, wherever he speaks from.
-func (r *Proxy) AddFor(speaker, name, listens, at string) (string, error) {
-	d, err := r.addListener(name, speaker, listens, at)
+// AddFor adds a party that listens for streams, and returns the address at which one client reaches
+// it: all that connects there is that client, whatever its address.
+func (p *Proxy) AddFor(client, name, target, ip string) (addr string, err error) {
+	l, err := p.addListener(name, client, target, ip)
 	if err != nil {
 		return "", err
 	}
-	r.startAccepting(d)
-	return d.addr, nil
+	p.startAccepting(l)
+	return l.addr, nil
 }
 
-// open makes a door whose streams nobody takes yet.
-func (r *Proxy) addListener(name, speaker, listens, at string) (*listener, error) {
-	tcp, err := net.Listen("tcp", net.JoinHostPort(at, "0"))
+// addListener opens a listener that does not accept yet.
+func (p *Proxy) addListener(name, client, target, ip string) (*listener, error) {
+	tcpListener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, fmt.Errorf("party %s: %w", name, err)
 	}
-	d := &listener{client: speaker, target: listens, addr: tcp.Addr().String(), slots: make(chan struct{}, maxStreams), tcpListener: tcp}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	d.party = r.party(name)
-	if speaker != "" {
-		r.party(speaker)
+	l := &listener{
+		client:      client,
+		target:      target,
+		addr:        tcpListener.Addr().String(),
+		slots:       make(chan struct{}, maxStreams),
+		tcpListener: tcpListener,
 	}
-	d.party.listeners = append(d.party.listeners, d)
-	return d, nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.party = p.party(name)
+	if client != "" {
+		p.party(client)
+	}
+	l.party.listeners = append(l.party.listeners, l)
+	return l, nil
 }
 
-// admit takes a door's streams until its listener is closed.
-func (r *Proxy) startAccepting(d *listener) {
-	l := d.tcpListener
-	context.AfterFunc(r.ctx, func() { _ = l.Close() })
-	r.wg.Go(func() { r.accept(d, l) })
+// startAccepting accepts streams until the listener is closed.
+func (p *Proxy) startAccepting(l *listener) {
+	tcpListener := l.tcpListener
+	context.AfterFunc(p.ctx, func() { _ = tcpListener.Close() })
+	p.wg.Go(func() { p.accept(l, tcpListener) })
 }
 
-// Down says that a party's process is gone or back: while it is gone, connections to it are
-// refused, as its machine would refuse them, and not taken and then ended.
-func (r *Proxy) SetDown(name string, gone bool) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p := r.party(name)
-	for _, d := range p.listeners {
+// SetDown says that a party's process is down or up again. While it is down, connections to it are
+// refused, as its machine would refuse them, and not accepted and then closed.
+func (p *Proxy) SetDown(name string, down bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.party(name).listeners {
 		switch {
-		case gone && d.tcpListener != nil:
-			_ = d.tcpListener.Close()
-			d.tcpListener = nil
-		case !gone && d.tcpListener == nil:
-			l, err := net.Listen("tcp", d.addr)
+		case down && l.tcpListener != nil:
+			_ = l.tcpListener.Close()
+			l.tcpListener = nil
+		case !down && l.tcpListener == nil:
+			tcpListener, err := net.Listen("tcp", l.addr)
 			if err != nil {
 				return fmt.Errorf("party %s: %w", name, err)
 			}
-			d.tcpListener = l
-			r.startAccepting(d)
+			l.tcpListener = tcpListener
+			p.startAccepting(l)
 		}
 	}
 	return nil
 }
 
-// Said is how many bytes a party has sent, and how many of its datagrams were dropped.
-func (r *Proxy) Transferred(name string) (bytes, lost uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if p := r.parties[name]; p != nil {
-		return p.sentBytes, p.droppedDatagrams
+// Transferred returns how many bytes a party has sent, and how many of its datagrams were dropped.
+func (p *Proxy) Transferred(name string) (bytes, dropped uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.parties[name]; one != nil {
+		return one.sentBytes, one.droppedDatagrams
 	}
 	return 0, 0
 }
 
-// speaker names who speaks from an address.
-func (r *Proxy) partyAt(a netip.Addr) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	name, ok := r.partyByIP[a.Unmap()]
+// partyAt returns the name of the party that sends from an IP.
+func (p *Proxy) partyAt(ip netip.Addr) (name string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name, ok = p.partyByIP[ip.Unmap()]
 	return name, ok
 }
--- a/internal/scenario/faultproxy/streams_test.go
+++ b/internal/scenario/faultproxy/streams_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// echo answers each line that comes to l, and tells of it.
-func echo(l net.Listener, heard chan<- string) {
+// echo echoes each line that comes to l, and sends it to received.
+func echo(l net.Listener, received chan<- string) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -22,25 +22,25 @@
 			defer func() { _ = conn.Close() }()
 			in := bufio.NewScanner(conn)
 			for in.Scan() {
-				heard <- in.Text()
+				received <- in.Text()
 				fmt.Fprintln(conn, in.Text())
 			}
 		}()
 	}
 }
 
-// call opens a stream from the mouth, or from anywhere.
-func dialProxy(to string, mouth bool) (net.Conn, error) {
+// dialProxy opens a stream from the sender's IP, or from the system's choice.
+func dialProxy(to string, fromSender bool) (net.Conn, error) {
 	d := net.Dialer{Timeout: 5 * time.Second}
-	if mouth {
+	if fromSender {
 		d.LocalAddr = &net.TCPAddr{IP: net.IPv4(127, 0, 3, 1)}
 	}
 	return d.Dial("tcp", to)
 }
 
-// said says a line and returns what came back.
-func exchangeLine(conn net.Conn, text string, patience time.Duration) (string, error) {
-	_ = conn.SetDeadline(time.Now().Add(patience))
+// exchangeLine sends a line and returns what came back.
+func exchangeLine(conn net.Conn, text string, timeout time.Duration) (string, error) {
+	_ = conn.SetDeadline(time.Now().Add(timeout))
 	fmt.Fprintln(conn, text)
 	answer := make([]byte, len(text)+1)
 	n, err := conn.Read(answer)
@@ -49,86 +49,113 @@
 
 const longTimeout, shortTimeout = 5 * time.Second, 100 * time.Millisecond
 
+// streamFaultCase is a fault, and what it does to a new stream and to one that was established before.
+type streamFaultCase struct {
+	name             string
+	fault            func(p *Proxy)
+	newStreamError   error // of a new stream, nil for an answer
+	establishedError error // of the established one
+	isReceived       bool  // what the clients send arrives all the same
+	atLeast, atMost  time.Duration
+}
+
+var errSilent = os.ErrDeadlineExceeded
+
+var streamFaultCases = []streamFaultCase{
+	{"no fault", func(*Proxy) {}, nil, nil, true, 0, longTimeout},
+	{"cut both ways", func(p *Proxy) {
+		p.SetBetween([]string{"mouth"}, []string{"ear"}, Fault{Cut: true})
+	}, errSilent, errSilent, false, 0, longTimeout},
+	{"cut there", func(p *Proxy) {
+		p.Set("mouth", "ear", Fault{Cut: true})
+	}, errSilent, errSilent, false, 0, longTimeout},
+	{"cut back", func(p *Proxy) {
+		p.Set("ear", "mouth", Fault{Cut: true})
+	}, errSilent, errSilent, true, 0, longTimeout},
+	{"zones cut", func(p *Proxy) {
+		p.SetBetweenZones("a", "b", Fault{Cut: true})
+	}, errSilent, errSilent, false, 0, longTimeout},
+	{"another pair of zones cut", func(p *Proxy) {
+		p.SetBetweenZones("b", "b", Fault{Cut: true})
+	}, nil, nil, true, 0, longTimeout},
+	{"delays add", func(p *Proxy) {
+		p.SetBetweenZones("a", "b", Fault{Delay: 30 * time.Millisecond})
+		p.Set("mouth", "ear", Fault{Delay: 20 * time.Millisecond})
+		p.SetBetweenZones("b", "a", Fault{Delay: 40 * time.Millisecond})
+	}, nil, nil, true, 90 * time.Millisecond, longTimeout},
+}
+
 func TestStreamFaults(t *testing.T) {
-	silent := os.ErrDeadlineExceeded
-	for _, tt := range []struct {
-		name         string
-		fault        func(r *Proxy)
-		fresh        error // of a new stream, nil for an answer
-		stands       error // of one that stood before
-		heard        bool  // what it says all the same
-		least, below time.Duration
-	}{
-		{"no fault", func(*Proxy) {}, nil, nil, true, 0, longTimeout},
-		{"cut both ways", func(r *Proxy) { r.SetBetween([]string{"mouth"}, []string{"ear"}, Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
-		{"cut there", func(r *Proxy) { r.Set("mouth", "ear", Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
-		{"cut back", func(r *Proxy) { r.Set("ear", "mouth", Fault{Cut: true}) }, silent, silent, true, 0, longTimeout},
-		{"zones cut", func(r *Proxy) { r.SetBetweenZones("a", "b", Fault{Cut: true}) }, silent, silent, false, 0, longTimeout},
-		{"another pair of zones cut", func(r *Proxy) { r.SetBetweenZones("b", "b", Fault{Cut: true}) }, nil, nil, true, 0, longTimeout},
-		{"delays add", func(r *Proxy) {
-			r.SetBetweenZones("a", "b", Fault{Delay: 30 * time.Millisecond})
-			r.Set("mouth", "ear", Fault{Delay: 20 * time.Millisecond})
-			r.SetBetweenZones("b", "a", Fault{Delay: 40 * time.Millisecond})
-		}, nil, nil, true, 90 * time.Millisecond, longTimeout},
-	} {
-		e := newTestParties(t, 1)
-		e.proxy.SetZone("mouth", "a")
-		e.proxy.SetZone("ear", "b")
-		heard := make(chan string, 10)
-		go echo(e.listener, heard)
-		patience := longTimeout
-		if tt.stands != nil {
-			patience = shortTimeout
-		}
-		stands, err := dialProxy(e.addr, true)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := exchangeLine(stands, "first", longTimeout); err != nil {
-			t.Fatal(err)
-		}
-		<-heard
-		tt.fault(e.proxy)
-		begun := time.Now()
-		if _, err := exchangeLine(stands, "standing", patience); !errors.Is(err, tt.stands) {
-			t.Errorf("%s: one that stood: %v, want %v", tt.name, err, tt.stands)
-		}
-		if took := time.Since(begun); took < tt.least || took > tt.below {
-			t.Errorf("%s: an answer after %v, want %v to %v", tt.name, took, tt.least, tt.below)
-		}
-		fresh, err := dialProxy(e.addr, true)
-		if err == nil {
-			_, err = exchangeLine(fresh, "fresh", patience)
-		}
-		if !errors.Is(err, tt.fresh) {
-			t.Errorf("%s: a new one: %v, want %v", tt.name, err, tt.fresh)
-		}
-		if tt.heard != (len(heard) > 0) {
-			t.Errorf("%s: %d lines heard, want some: %v", tt.name, len(heard), tt.heard)
-		}
-		e.proxy.Heal()
-		if tt.fresh != nil { // what was lost is lost: the stream ends, and a new one is made
-			_ = fresh.SetDeadline(time.Now().Add(longTimeout))
-			if n, err := fresh.Read(make([]byte, 1)); n > 0 || errors.Is(err, silent) {
-				t.Errorf("%s: healed, a cut stream goes on: %v", tt.name, err)
-			}
-			again, err := dialProxy(e.addr, true)
-			if err == nil {
-				_, err = exchangeLine(again, "again", longTimeout)
-			}
-			if err != nil {
-				t.Errorf("%s: healed: %v", tt.name, err)
-			}
-		}
+	for _, tt := range streamFaultCases {
+		t.Run(tt.name, tt.run)
+	}
+}
+
+func (tt streamFaultCase) run(t *testing.T) {
+	e := newTestParties(t, 1)
+	e.proxy.SetZone("mouth", "a")
+	e.proxy.SetZone("ear", "b")
+	received := make(chan string, 10)
+	go echo(e.listener, received)
+	timeout := longTimeout
+	if tt.establishedError != nil {
+		timeout = shortTimeout
+	}
+	established, err := dialProxy(e.addr, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := exchangeLine(established, "first", longTimeout); err != nil {
+		t.Fatal(err)
+	}
+	<-received
+	tt.fault(e.proxy)
+	begun := time.Now()
+	if _, err := exchangeLine(established, "standing", timeout); !errors.Is(err, tt.establishedError) {
+		t.Errorf("the established stream: %v, want %v", err, tt.establishedError)
+	}
+	if took := time.Since(begun); took < tt.atLeast || took > tt.atMost {
+		t.Errorf("an answer after %v, want %v to %v", took, tt.atLeast, tt.atMost)
+	}
+	fresh, err := dialProxy(e.addr, true)
+	if err == nil {
+		_, err = exchangeLine(fresh, "fresh", timeout)
+	}
+	if !errors.Is(err, tt.newStreamError) {
+		t.Errorf("a new stream: %v, want %v", err, tt.newStreamError)
+	}
+	if tt.isReceived != (len(received) > 0) {
+		t.Errorf("%d lines received, want some: %v", len(received), tt.isReceived)
+	}
+	e.proxy.Heal()
+	if tt.newStreamError != nil {
+		checkHealed(t, e, fresh)
+	}
+}
+
+// checkHealed checks that a stream that was cut ends, as what it lost is lost, and that a new one is
+// forwarded.
+func checkHealed(t *testing.T, e *testParties, cut net.Conn) {
+	t.Helper()
+	_ = cut.SetDeadline(time.Now().Add(longTimeout))
+	if n, err := cut.Read(make([]byte, 1)); n > 0 || errors.Is(err, errSilent) {
+		t.Errorf("healed, a cut stream goes on: %v", err)
+	}
+	again, err := dialProxy(e.addr, true)
+	if err == nil {
+		_, err = exchangeLine(again, "again", longTimeout)
+	}
+	if err != nil {
+		t.Errorf("healed: %v", err)
 	}
 }
 
-// Two speakers from one address are told apart by where they come; a party whose process is
-// gone refuses, and takes again at the same address.
+// Two clients with one IP are known by their listeners; a party whose process is down refuses, and
+// accepts again on the same address.
 func TestListenerNamesItsClient(t *testing.T) {
 	e := newTestParties(t, 1)
-	heard := make(chan string, 10)
-	go echo(e.listener, heard)
+	received := make(chan string, 10)
+	go echo(e.listener, received)
 	at := map[string]string{}
 	for _, name := range []string{"n0", "n1"} {
 		var err error
@@ -138,13 +165,13 @@
 	}
 	e.proxy.Set("n0", "s0", Fault{Cut: true})
 	for name, want := range map[string]error{"n0": os.ErrDeadlineExceeded, "n1": nil} {
-		patience := longTimeout
+		timeout := longTimeout
 		if want != nil {
-			patience = shortTimeout
+			timeout = shortTimeout
 		}
 		conn, err := dialProxy(at[name], false)
 		if err == nil {
-			_, err = exchangeLine(conn, name, patience)
+			_, err = exchangeLine(conn, name, timeout)
 		}
 		if !errors.Is(err, want) {
 			t.Errorf("%s: %v, want %v", name, err, want)
