--- a/internal/scenario/zones/checks.go
+++ b/internal/scenario/zones/checks.go
@@ -14,19 +14,19 @@
 // them sends it a first line later than bound after the fault, and of those of one viewpoint,
 // who leave by one change, the last leaves no later than togetherBound after the first. A
 // viewpoint that can't tell need not leave, as long as it sends nothing.
-func (s *scene) left(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
-	late := fault.Add(bound + slack)
+func (s *scenario) checkEvacuated(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
+	late := fault.Add(bound + evacuationSlack)
 	s.SetMetric(step+"_asked_before", float64(len(s.FirstLinesInto(zone, fault.Add(-time.Second), fault))))
 	s.RequireAtLeast(step+"_asked_before", 5) // else nobody had anything to leave
-	fake.Sleep(ctx, time.Until(late)+looksOn)
-	testbed.Await(ctx, time.Until(fault.Add(bound+decided)), func() bool {
-		left := s.watch.leaves(zone, fault)
+	fake.Sleep(ctx, time.Until(late)+observationTime)
+	testbed.Await(ctx, time.Until(fault.Add(bound+decisionTimeout)), func() bool {
+		left := s.watcher.evacuatedAt(zone, fault)
 		return slices.ContainsFunc(nodes, func(name string) bool { return !left[name].IsZero() })
 	})
 	if ctx.Err() != nil {
 		return
 	}
-	at, first := s.watch.leaves(zone, fault), map[string]time.Time{} // by viewpoint
+	at, first := s.watcher.evacuatedAt(zone, fault), map[string]time.Time{} // by viewpoint
 	for name, t := range at {
 		if from := s.Zone(name); slices.Contains(nodes, name) && (first[from].IsZero() || t.Before(first[from])) {
 			first[from] = t
@@ -42,11 +42,11 @@
 			stayed++
 			continue
 		}
-		s.most(step+"_left_ms", t.Sub(fault))
+		s.recordMax(step+"_left_ms", t.Sub(fault))
 		spread := t.Sub(first[s.Zone(name)])
-		s.most(step+"_spread_ms", spread)
-		if spread > togetherBound+2*looks {
-			s.AddViolation("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, togetherBound))
+		s.recordMax(step+"_spread_ms", spread)
+		if spread > spreadBound+2*pollInterval {
+			s.AddViolation("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, spreadBound))
 		}
 	}
 	s.SetMetric(step+"_not_left", max(s.Metric(step+"_not_left"), stayed))
@@ -59,29 +59,29 @@
 		switch {
 		case l.At.After(late):
 			s.AddViolation("leave", fmt.Sprintf("%s: %s sent %s a first line %v after the fault", step, l.Node, l.Server, lastLine))
-		case !begun.IsZero() && l.At.Sub(begun) > togetherBound+atOnce:
+		case !begun.IsZero() && l.At.Sub(begun) > spreadBound+inFlightSlack:
 			s.AddViolation("together", fmt.Sprintf("%s: %s sent %s a first line %v after the first of its zone had left", step, l.Node, l.Server, l.At.Sub(begun)))
 		}
 	}
-	s.most(step+"_last_line_ms", lastLine)
+	s.recordMax(step+"_last_line_ms", lastLine)
 }
 
 const (
 	// looksOn is for how long after the bound it is looked on: who has not left is seen by then.
-	looksOn = 1200 * time.Millisecond
+	observationTime = 1200 * time.Millisecond
 	// decided is how long after the bound the record may need to say what the nodes keep to by
 	// themselves: once they ask a zone only by probes, evidence of it comes slowly.
-	decided = 3 * time.Second
+	decisionTimeout = 3 * time.Second
 )
 
 // most keeps the greatest of a figure, in ms.
-func (s *scene) most(figure string, d time.Duration) {
+func (s *scenario) recordMax(figure string, d time.Duration) {
 	s.SetMetric(figure, max(s.Metric(figure), float64(d.Milliseconds())))
 }
 
 // stays holds some nodes to going on with a zone: they send it as much as before, but for
 // chance.
-func (s *scene) stays(step, zone string, nodes []string, from, until time.Time) {
+func (s *scenario) checkStillSends(step, zone string, nodes []string, from, until time.Time) {
 	n := 0
 	for _, l := range s.FirstLinesInto(zone, from, until) {
 		if slices.Contains(nodes, l.Node) {
@@ -97,7 +97,7 @@
 
 // within holds servers to what they can bear, as they are full: what is over has to be
 // refused before it is sent.
-func (s *scene) within(step string, list []*testbed.Server, from, until time.Time) {
+func (s *scenario) checkSurvivorLoad(step string, list []*testbed.Server, from, until time.Time) {
 	const window = time.Second
 	bears := 0.0
 	for _, v := range list {
@@ -117,22 +117,22 @@
 		most = max(most, float64(i-first+1)/bears/window.Seconds())
 	}
 	s.SetMetric(step+"_survivors_most_of_budget", most)
-	if most > survivors {
+	if most > maxSurvivorLoad {
 		s.AddViolation("panic", fmt.Sprintf("%s: those that stay were sent %.2f times what they bear within %v", step, most, window))
 	}
 }
 
 // survivors is how full those that stay may be, counted in a second: full, and by chance.
-const survivors = 1.25
+const maxSurvivorLoad = 1.25
 
 // comesBack waits until the fleet sends everywhere again, all members alike.
-func (s *scene) comesBack(ctx context.Context, step string) {
-	took, came := testbed.Await(ctx, returnBound, func() bool { return s.watch.settled(s.Names) })
+func (s *scenario) checkRecovers(ctx context.Context, step string) {
+	took, came := testbed.Await(ctx, recoveryBound, func() bool { return s.watcher.hasRecovered(s.Names) })
 	if ctx.Err() != nil {
 		return
 	}
-	s.most(step+"_return_ms", took)
+	s.recordMax(step+"_return_ms", took)
 	if !came {
-		s.AddViolation("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watch.say()))
+		s.AddViolation("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watcher.describe()))
 	}
 }
