--- a/internal/scenario/accounts/accounts.go
+++ b/internal/scenario/accounts/accounts.go
@@ -38,37 +38,37 @@
 }
 
 const (
-	lease    = 2 * time.Second
-	skew     = 200 * time.Millisecond // by which members' clocks differ
-	pause    = 200 * time.Millisecond // of a writer between two moves, in the mean
-	rate     = 60                     // transactions a second beside it all
-	servers  = 6
-	looks    = 20 * time.Millisecond // how often each agent is asked what it knows
-	learning = 14 * time.Second      // until nodes know the usual rate: before, they refuse some
-	judging  = 10 * time.Second      // the greatest time that histories are searched for
-	lostMost = 3 * time.Second       // from the loss of a leader to the next change taken: three beats, and proposals' own waits
-	oneMost  = 5 * time.Second       // until all members are as one again, once healed
-	backMost = 15 * time.Second      // until a voter has its vote again
+	leaseTimeout       = 2 * time.Second
+	clockSkew          = 200 * time.Millisecond // by which members' clocks differ
+	meanMovePause      = 200 * time.Millisecond // of a writer between two moves, in the mean
+	requestRate        = 60                     // transactions a second beside it all
+	serverCount        = 6
+	pollInterval       = 20 * time.Millisecond // how often each agent is asked what it knows
+	learningTime       = 14 * time.Second      // until nodes know the usual rate: before, they refuse some
+	historyTimeout     = 10 * time.Second      // the greatest time that histories are searched for
+	maxLeaderGap       = 3 * time.Second       // from the loss of a leader to the next change taken: three beats, and proposals' own waits
+	convergenceTimeout = 5 * time.Second       // until all members are as one again, once healed
+	rejoinTimeout      = 15 * time.Second      // until a voter has its vote again
 )
 
 // scene is one run.
-type scene struct {
+type scenario struct {
 	*testbed.Testbed
-	tree  *tree
-	watch *watchers
-	log   *history
-	room  map[string]chan struct{} // asks under way at each agent
+	tree          *tree
+	watcher       *watcher
+	history       *history
+	proposalSlots map[string]chan struct{} // asks under way at each agent
 
-	writers sync.WaitGroup
-	stop    context.CancelFunc // of the writers
+	writers     sync.WaitGroup
+	stopWriters context.CancelFunc // of the writers
 
-	mu     sync.Mutex
-	faults map[string][]span // of each agent
-	lost   []time.Time       // when leaders were lost
+	mu           sync.Mutex
+	faultPeriods map[string][]period // of each agent
+	leaderLostAt []time.Time         // when leaders were lost
 }
 
 // span is how long a fault lasted; until is zero while it does.
-type span struct{ from, until time.Time }
+type period struct{ from, until time.Time }
 
 // Play plays the scene: teams change routes, limits and grants at once through different
 // agents, while leaders die, links break, a disk fills up and agents stall.
@@ -80,18 +80,18 @@
 	if err != nil {
 		return nil, err
 	}
-	w := testbed.Options{Scenario: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: servers, Voters: o.Voters, Rate: rate, Binary: o.Binary,
+	w := testbed.Options{Scenario: "accounts", Seed: o.Seed, Nodes: o.Nodes, Servers: serverCount, Voters: o.Voters, Rate: requestRate, Binary: o.Binary,
 		Mutation: o.Mutation, Progress: o.Progress, Ramp: 2 * time.Second, BudgetWindow: 1500 * time.Millisecond, LeaseTimeout: 3 * time.Second, RetryRatio: 0.3}
 	for i := range o.Zones {
 		w.Zones = append(w.Zones, string(rune('a'+i)))
 	}
 	w.OperatorConfig = func(_ string, f *operatorconfig.File) {
 		f.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(t.root.public())
-		f.Fleet.ReplicatedLog.Lease = operatorconfig.Duration{Duration: lease}
+		f.Fleet.ReplicatedLog.Lease = operatorconfig.Duration{Duration: leaseTimeout}
 	}
 	w.ClockOffset = func(name string) time.Duration {
 		if name[len(name)-1]%2 == 0 {
-			return skew
+			return clockSkew
 		}
 		return 0
 	}
@@ -110,48 +110,48 @@
 		return nil, err
 	}
 	defer built.Close()
-	s := &scene{Testbed: built, tree: t, log: &history{}, room: map[string]chan struct{}{}, stop: func() {}, faults: map[string][]span{}}
+	s := &scenario{Testbed: built, tree: t, history: &history{}, proposalSlots: map[string]chan struct{}{}, stopWriters: func() {}, faultPeriods: map[string][]period{}}
 	for _, name := range s.Names {
-		s.room[name] = make(chan struct{}, 3)
+		s.proposalSlots[name] = make(chan struct{}, 3)
 	}
-	s.watch = newWatchers(s.Agents)
-	defer s.watch.end()
+	s.watcher = newWatcher(s.Agents)
+	defer s.watcher.close()
 	s.ScaledDown = fmt.Sprintf("%d agents in %d zones, all on one machine; %d teams on two levels below %d accounts; a lease of %v; each agent is looked at every %v",
-		o.Nodes, o.Zones, o.Teams, len(t.admins), lease, looks)
+		o.Nodes, o.Zones, o.Teams, len(t.admins), leaseTimeout, pollInterval)
 	return s.Result, s.run(ctx, o.Steps)
 }
 
 // run plays the script, lets all members agree, and judges.
-func (s *scene) run(ctx context.Context, chosen []string) error {
+func (s *scenario) run(ctx context.Context, chosen []string) error {
 	defer s.writers.Wait()
-	defer func() { s.stop() }()
+	defer func() { s.stopWriters() }()
 	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "calm", Run: s.calm}, {Name: "leader", Run: s.leader},
-		{Name: "oneway", Run: s.oneWay}, {Name: "apart", Run: s.apart}, {Name: "disk", Run: s.disk}, {Name: "stall", Run: s.stall},
+		{Name: "oneway", Run: s.oneWay}, {Name: "apart", Run: s.isolation}, {Name: "disk", Run: s.disk}, {Name: "stall", Run: s.stall},
 		{Name: "many", Run: s.many}}, chosen)
 	if err != nil {
 		return err
 	}
-	s.stop()
+	s.stopWriters()
 	s.writers.Wait()
-	s.agree(ctx)
+	s.waitForConvergence(ctx)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	s.judge(len(chosen) == 0)
+	s.check(len(chosen) == 0)
 	return nil
 }
 
 // meet lets members find each other and agree on a leader, founds the accounts, and has
 // writers begin.
-func (s *scene) meet(ctx context.Context, _ *mrand.Rand) error {
-	if _, met := testbed.Await(ctx, 15*time.Second, func() bool { return s.watch.asOne(s.Names) }); !met && ctx.Err() == nil {
-		return fmt.Errorf("members did not meet: %s", s.watch.say())
+func (s *scenario) meet(ctx context.Context, _ *mrand.Rand) error {
+	if _, met := testbed.Await(ctx, 15*time.Second, func() bool { return s.watcher.hasConverged(s.Names) }); !met && ctx.Err() == nil {
+		return fmt.Errorf("members did not meet: %s", s.watcher.describe())
 	}
-	if err := s.found(ctx); err != nil {
+	if err := s.createTree(ctx); err != nil {
 		return err
 	}
 	writing, stop := context.WithCancel(ctx)
-	s.stop = stop
+	s.stopWriters = stop
 	for i, w := range s.tree.writers() {
 		w.scene, w.rng = s, mrand.New(mrand.NewPCG(s.Options.Seed, uint64(100+i)))
 		s.writers.Go(func() { w.write(writing) })
@@ -159,19 +159,19 @@
 	return nil
 }
 
-func (s *scene) calm(ctx context.Context, _ *mrand.Rand) error {
+func (s *scenario) calm(ctx context.Context, _ *mrand.Rand) error {
 	fake.Sleep(ctx, 2*time.Second)
 	return nil
 }
 
 // agree heals all and waits until all members hold the same.
-func (s *scene) agree(ctx context.Context) {
+func (s *scenario) waitForConvergence(ctx context.Context) {
 	s.Proxy.Heal()
-	took, came := testbed.Await(ctx, oneMost, func() bool { return s.watch.asOne(s.Names) })
+	took, came := testbed.Await(ctx, convergenceTimeout, func() bool { return s.watcher.hasConverged(s.Names) })
 	s.SetMetric("as_one_again_ms", float64(took.Milliseconds()))
 	if !came && ctx.Err() == nil {
-		s.AddViolation("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", oneMost, s.watch.say()))
+		s.AddViolation("converge", fmt.Sprintf("members are not as one %v after all was healed: %s", convergenceTimeout, s.watcher.describe()))
 	}
 	// Trees are asked for after states: the last ones have to come, too.
-	testbed.Await(ctx, time.Second, func() bool { return s.watch.read(s.Names) })
+	testbed.Await(ctx, time.Second, func() bool { return s.watcher.hasCurrentTrees(s.Names) })
 }
--- a/internal/scenario/accounts/judge.go
+++ b/internal/scenario/accounts/judge.go
@@ -15,15 +15,15 @@
 
 // judge holds all that was answered and seen to the rules. Whole tells that all steps were
 // played, so that all that is to be provoked has been.
-func (s *scene) judge(whole bool) {
-	ops := s.log.ops
-	slices.SortFunc(ops, func(a, b *op) int { return a.call.Compare(b.call) })
-	s.rules(ops)
-	s.trees()
-	s.ages(ops)
-	s.times(ops)
-	if states := s.ordered(ops); states != nil {
-		s.same(states)
+func (s *scenario) check(whole bool) {
+	ops := s.history.proposals
+	slices.SortFunc(ops, func(a, b *proposal) int { return a.calledAt.Compare(b.calledAt) })
+	s.checkAnswers(ops)
+	s.checkTrees()
+	s.checkStaleness(ops)
+	s.measureTimes(ops)
+	if states := s.checkHistory(ops); states != nil {
+		s.checkStates(states)
 	}
 	s.RequireAtLeast("taken", 60)
 	if whole {
@@ -32,7 +32,7 @@
 			s.RequireAtLeast(figure, least)
 		}
 	}
-	share, all := s.ServedShare(time.Now().Add(learning-s.Elapsed()), time.Now())
+	share, all := s.ServedShare(time.Now().Add(learningTime-s.Elapsed()), time.Now())
 	s.SetMetric("served_beside_it", share)
 	if all > 0 && share < 0.9 {
 		s.AddViolation("served", fmt.Sprintf("%.3f of %d transactions were served beside it, want 0.9 at least", share, all))
@@ -40,40 +40,40 @@
 }
 
 // rules looks at each answer by itself.
-func (s *scene) rules(ops []*op) {
-	at := map[uint64]*op{}
+func (s *scenario) checkAnswers(ops []*proposal) {
+	at := map[uint64]*proposal{}
 	keys := map[string]uint64{}
-	for _, l := range s.log.lines {
+	for _, l := range s.history.revokedChains {
 		s.AddMetric("lines_revoked", 1)
 		for _, k := range l.keys {
-			keys[k] = l.revoked
+			keys[k] = l.revokedAt
 		}
 	}
 	for _, o := range ops {
-		s.AddMetric(map[int]string{unknown: "answers_lost", absent: "not_proposed", decided: map[bool]string{true: "taken", false: "refused"}[o.out.Accepted]}[o.end], 1)
-		if o.never != "" {
-			s.AddMetric("tried_"+o.never, 1)
+		s.AddMetric(map[int]string{outcomeUnknown: "answers_lost", notProposed: "not_proposed", outcomeKnown: map[bool]string{true: "taken", false: "refused"}[o.outcome.Accepted]}[o.status], 1)
+		if o.brokenRule != "" {
+			s.AddMetric("tried_"+o.brokenRule, 1)
 		}
-		if o.end != decided || o.out.Index == 0 {
-			if o.taken() {
+		if o.status != outcomeKnown || o.outcome.Index == 0 {
+			if o.isAccepted() {
 				s.AddViolation("answer", "taken at no index: "+o.String())
 			}
 			continue
 		}
-		if one := at[o.out.Index]; one != nil {
-			s.AddViolation("index", fmt.Sprintf("two entries at index %d: %v and %v", o.out.Index, one, o))
+		if one := at[o.outcome.Index]; one != nil {
+			s.AddViolation("index", fmt.Sprintf("two entries at index %d: %v and %v", o.outcome.Index, one, o))
 		}
-		at[o.out.Index] = o
-		if o.taken() && o.never != "" {
-			s.AddViolation(o.never, "taken: "+o.String())
+		at[o.outcome.Index] = o
+		if o.isAccepted() && o.brokenRule != "" {
+			s.AddViolation(o.brokenRule, "taken: "+o.String())
 		}
-		if gone, ok := keys[o.entry.KeyName]; ok && o.taken() && o.out.Index > gone {
+		if gone, ok := keys[o.entry.KeyName]; ok && o.isAccepted() && o.outcome.Index > gone {
 			s.AddViolation("revoked", fmt.Sprintf("revoked at %d, taken: %v", gone, o))
 		}
 	}
-	for _, pair := range s.log.races {
+	for _, pair := range s.history.races {
 		s.AddMetric("races", 1)
-		if pair[0].taken() && pair[1].taken() {
+		if pair[0].isAccepted() && pair[1].isAccepted() {
 			s.AddViolation("compared", fmt.Sprintf("two on one base were both taken: %v and %v", pair[0], pair[1]))
 		}
 	}
@@ -81,12 +81,12 @@
 
 // trees looks at what members held at each index: sums, scopes, ties and lines of grants,
 // and that all of them held the same.
-func (s *scene) trees() {
-	s.watch.mu.Lock()
-	defer s.watch.mu.Unlock()
+func (s *scenario) checkTrees() {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
 	last := uint64(0)
-	for _, index := range slices.Sorted(maps.Keys(s.watch.sights)) {
-		list := s.watch.sights[index]
+	for _, index := range slices.Sorted(maps.Keys(s.watcher.trees)) {
+		list := s.watcher.trees[index]
 		last = index
 		if len(list) > 1 {
 			s.AddViolation("same", fmt.Sprintf("at index %d %s holds another state than %s: hashes %.8x and %.8x", index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash))
@@ -97,24 +97,24 @@
 				s.AddViolation("tree", fmt.Sprintf("%s at index %d: %v", one.agent, index, err))
 			}
 			for _, r := range t.Routes {
-				if r.Name == neverThere {
+				if r.Name == halfRouteName {
 					s.AddViolation(ruleHalf, fmt.Sprintf("%s at index %d has route %q", one.agent, index, r.Path()))
 				}
 			}
 		}
 	}
 	s.SetMetric("entries", float64(last))
-	s.SetMetric("trees_seen_share", float64(len(s.watch.sights))/float64(max(last, 1)))
+	s.SetMetric("trees_seen_share", float64(len(s.watcher.trees))/float64(max(last, 1)))
 }
 
 // told are the hashes that members told, by index. Who told another than the first is wrong.
-func (s *scene) told() map[uint64]logentry.Hash {
-	s.watch.mu.Lock()
-	defer s.watch.mu.Unlock()
+func (s *scenario) reportedHashes() map[uint64]logentry.Hash {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
 	all, who := map[uint64]logentry.Hash{}, map[uint64]string{}
-	for _, name := range slices.Sorted(maps.Keys(s.watch.looks)) {
+	for _, name := range slices.Sorted(maps.Keys(s.watcher.samples)) {
 		at := uint64(0)
-		for _, l := range s.watch.looks[name] {
+		for _, l := range s.watcher.samples[name] {
 			var h logentry.Hash
 			if l.Index == at || h.UnmarshalText([]byte(l.Hash)) != nil {
 				continue
@@ -132,19 +132,19 @@
 
 // ordered holds the history to the model, and returns the states of the order that was
 // found; nil where there is none.
-func (s *scene) ordered(ops []*op) map[logentry.Hash]*logentry.State {
-	hashes := s.told()
-	final, _ := s.watch.now(s.Names[0])
-	s.watch.mu.Lock()
-	genesis := s.watch.last[s.Names[0]].Genesis
-	s.watch.mu.Unlock()
+func (s *scenario) checkHistory(ops []*proposal) map[logentry.Hash]*logentry.State {
+	hashes := s.reportedHashes()
+	final, _ := s.watcher.latest(s.Names[0])
+	s.watcher.mu.Lock()
+	genesis := s.watcher.lastTrees[s.Names[0]].Genesis
+	s.watcher.mu.Unlock()
 	first, err := logentry.NewState(genesis)
 	if err != nil {
 		s.AddViolation("history", err.Error())
 		return nil
 	}
 	m, begun := newModel(first, ops, hashes), time.Now()
-	verdict := m.check(first, ops, hashes[final.Index], judging)
+	verdict := m.check(first, ops, hashes[final.Index], historyTimeout)
 	s.SetMetric("history_checked_ms", float64(time.Since(begun).Milliseconds()))
 	s.SetMetric("history_operations", float64(len(ops)))
 	switch verdict {
@@ -153,23 +153,23 @@
 	case porcupine.Illegal:
 		s.AddViolation("history", fmt.Sprintf("%d proposals fit no order that agrees with time, with versions and with what members hold at the end", len(ops)))
 	default:
-		s.AddViolation("history", fmt.Sprintf("no order of %d proposals was found within %v", len(ops), judging))
+		s.AddViolation("history", fmt.Sprintf("no order of %d proposals was found within %v", len(ops), historyTimeout))
 	}
 	return nil
 }
 
 // same holds each state that a member showed to what the entries before it add up to.
-func (s *scene) same(states map[logentry.Hash]*logentry.State) {
-	s.watch.mu.Lock()
-	defer s.watch.mu.Unlock()
-	for index, list := range s.watch.sights {
+func (s *scenario) checkStates(states map[logentry.Hash]*logentry.State) {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
+	for index, list := range s.watcher.trees {
 		for _, one := range list {
 			want := states[one.state.Hash]
 			if want == nil {
 				s.AddViolation("log", fmt.Sprintf("%s at index %d: its chain is none of what was proposed", one.agent, index))
 				continue
 			}
-			if raw, err := json.Marshal(want); err != nil || sha256.Sum256(raw) != one.sum {
+			if raw, err := json.Marshal(want); err != nil || sha256.Sum256(raw) != one.checksum {
 				s.AddViolation("log", fmt.Sprintf("%s at index %d holds what the entries do not add up to (%v)", one.agent, index, err))
 			}
 		}
--- a/internal/scenario/accounts/tree.go
+++ b/internal/scenario/accounts/tree.go
@@ -26,9 +26,9 @@
 // team is a team, or an account as its administrator sees it.
 type team struct {
 	key
-	path  string
-	above *team   // nil for an account
-	below []*team // in the tree's order
+	path     string
+	parent   *team   // nil for an account
+	children []*team // in the tree's order
 }
 
 // tree is what is founded: accounts, teams, and teams of teams.
@@ -57,11 +57,11 @@
 			t.admins = append(t.admins, &team{key: fresh(), path: fmt.Sprintf("acc%d", len(t.admins))})
 		}
 		above := t.admins[len(t.admins)-1]
-		if n := len(above.below); n > 0 && len(above.below[n-1].below) < teamsOfTeam {
-			above = above.below[n-1]
+		if n := len(above.children); n > 0 && len(above.children[n-1].children) < teamsOfTeam {
+			above = above.children[n-1]
 		}
-		one := &team{key: fresh(), path: fmt.Sprintf("%s/t%d", above.path, i), above: above}
-		above.below = append(above.below, one)
+		one := &team{key: fresh(), path: fmt.Sprintf("%s/t%d", above.path, i), parent: above}
+		above.children = append(above.children, one)
 		t.teams = append(t.teams, one)
 	}
 	return t, errors.Join(errs...)
@@ -69,14 +69,14 @@
 
 // level is 0 for an account.
 func (t *team) level() int {
-	if t.above == nil {
+	if t.parent == nil {
 		return 0
 	}
-	return t.above.level() + 1
+	return t.parent.level() + 1
 }
 
 // node is what a team has at first: its children together hold a little less than it has.
-func (t *team) node() *account.Node {
+func (t *team) initialNode() *account.Node {
 	l := [3]account.Limits{
 		{Connections: 3000, SetupRate: 300, RetryRate: 60, ProbeRate: 60, Routes: 200, Teams: 60},
 		{Connections: 1000, SetupRate: 100, RetryRate: 20, ProbeRate: 20, Routes: 60, Teams: 10},
@@ -86,23 +86,23 @@
 }
 
 // grant is what is given to a team's key, by the key above: each level can hand on less deep.
-func (t *team) grant() account.Op {
-	return give(t.key, t.path, 4-t.level(), account.PermissionRoutes, account.PermissionLimits, account.PermissionTeams, account.PermissionGrants)
+func (t *team) initialGrantOp() account.Op {
+	return createGrantOp(t.key, t.path, 4-t.level(), account.PermissionRoutes, account.PermissionLimits, account.PermissionTeams, account.PermissionGrants)
 }
 
-func give(k key, path string, depth int, acts ...string) account.Op {
+func createGrantOp(k key, path string, depth int, acts ...string) account.Op {
 	return account.Op{Kind: account.CreateGrant, Path: path, Grant: &account.Grant{Key: k.name(), PublicKey: k.public(), Path: path, Permissions: acts, DelegationDepth: depth}}
 }
 
 // found brings the tree into the record, each level by the key above it.
-func (s *scene) found(ctx context.Context) error {
+func (s *scenario) createTree(ctx context.Context) error {
 	for _, a := range s.tree.admins {
-		if err := s.must(ctx, s.tree.root, account.Op{Kind: account.CreateAccount, Path: a.path, Node: a.node()}, a.grant()); err != nil {
+		if err := s.proposeUntilAccepted(ctx, s.tree.root, account.Op{Kind: account.CreateAccount, Path: a.path, Node: a.initialNode()}, a.initialGrantOp()); err != nil {
 			return err
 		}
 	}
 	for _, t := range s.tree.teams {
-		if err := s.must(ctx, t.above.key, account.Op{Kind: account.CreateTeam, Path: t.path, Node: t.node()}, t.grant()); err != nil {
+		if err := s.proposeUntilAccepted(ctx, t.parent.key, account.Op{Kind: account.CreateTeam, Path: t.path, Node: t.initialNode()}, t.initialGrantOp()); err != nil {
 			return err
 		}
 	}
@@ -110,20 +110,20 @@
 }
 
 // must proposes until a change is taken.
-func (s *scene) must(ctx context.Context, k key, ops ...account.Op) error {
-	var o *op
+func (s *scenario) proposeUntilAccepted(ctx context.Context, k key, ops ...account.Op) error {
+	var o *proposal
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; {
 		to := s.Names[len(ops)%len(s.Names)]
-		base, _ := s.watch.tree(to)
-		if o = s.propose(k, to, account.Change{BaseVersion: base.Version, Ops: ops}, "found", ""); o.taken() {
-			s.watch.await(ctx, to, o.out.Index)
+		base, _ := s.watcher.tree(to)
+		if o = s.propose(k, to, account.Change{BaseVersion: base.Version, Ops: ops}, "found", ""); o.isAccepted() {
+			s.watcher.waitForIndex(ctx, to, o.outcome.Index)
 			return nil
 		}
-		if !fake.Sleep(ctx, looks) {
+		if !fake.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
 	}
-	return fmt.Errorf("%q was not founded: %+v %s", ops[0].Path, o.out, o.why)
+	return fmt.Errorf("%q was not founded: %+v %s", ops[0].Path, o.outcome, o.failure)
 }
 
 // writers is one for each team and for each account's administrator.
--- a/internal/scenario/accounts/watch.go
+++ b/internal/scenario/accounts/watch.go
@@ -19,60 +19,60 @@
 )
 
 // look is an agent's answer to the ask "state", asked and answered at two times.
-type look struct {
-	asked, heard time.Time
+type stateSample struct {
+	askedAt, answeredAt time.Time
 	agentapi.State
 }
 
 // sight is what a member holds at an index.
-type sight struct {
-	agent string
-	state *logentry.State
-	sum   [sha256.Size]byte // of the answer
-	at    time.Time
+type treeSample struct {
+	agent     string
+	state     *logentry.State
+	checksum  [sha256.Size]byte // of the answer
+	sampledAt time.Time
 }
 
 // watchers ask all agents all the time.
-type watchers struct {
+type watcher struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu     sync.Mutex
-	looks  map[string][]look // by agent, in order
-	last   map[string]*logentry.State
-	up     map[string]bool     // it answered when it was last asked
-	sights map[uint64][]*sight // by index, of different sums only
+	mu        sync.Mutex
+	samples   map[string][]stateSample // by agent, in order
+	lastTrees map[string]*logentry.State
+	isUp      map[string]bool          // it answered when it was last asked
+	trees     map[uint64][]*treeSample // by index, of different sums only
 }
 
-func newWatchers(agents map[string]*testbed.Agent) *watchers {
+func newWatcher(agents map[string]*testbed.Agent) *watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watchers{cancel: cancel, looks: map[string][]look{}, last: map[string]*logentry.State{}, up: map[string]bool{}, sights: map[uint64][]*sight{}}
+	w := &watcher{cancel: cancel, samples: map[string][]stateSample{}, lastTrees: map[string]*logentry.State{}, isUp: map[string]bool{}, trees: map[uint64][]*treeSample{}}
 	for name, a := range agents {
 		w.wg.Go(func() {
-			for w.look(name, a); fake.Sleep(ctx, looks); {
-				w.look(name, a)
+			for w.poll(name, a); fake.Sleep(ctx, pollInterval); {
+				w.poll(name, a)
 			}
 		})
 	}
 	return w
 }
 
-func (w *watchers) end() {
+func (w *watcher) close() {
 	w.cancel()
 	w.wg.Wait()
 }
 
 // look asks one agent how it stands, and what it holds where that is news.
-func (w *watchers) look(name string, a *testbed.Agent) {
-	l := look{asked: time.Now()}
+func (w *watcher) poll(name string, a *testbed.Agent) {
+	l := stateSample{askedAt: time.Now()}
 	err := a.Call(agentapi.OperatorRequest{Method: "state"}, &l.State)
-	l.heard = time.Now()
+	l.answeredAt = time.Now()
 	w.mu.Lock()
-	w.up[name] = err == nil
+	w.isUp[name] = err == nil
 	if err == nil {
-		w.looks[name] = append(w.looks[name], l)
+		w.samples[name] = append(w.samples[name], l)
 	}
-	news := err == nil && (w.last[name] == nil || w.last[name].Index != l.Index)
+	news := err == nil && (w.lastTrees[name] == nil || w.lastTrees[name].Index != l.Index)
 	w.mu.Unlock()
 	if !news {
 		return
@@ -82,46 +82,46 @@
 	if a.Call(agentapi.OperatorRequest{Method: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
 		return // it has just gone
 	}
-	s := &sight{name, state, sha256.Sum256(raw), time.Now()}
+	s := &treeSample{name, state, sha256.Sum256(raw), time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last[name] = state
-	if !slices.ContainsFunc(w.sights[state.Index], func(o *sight) bool { return o.sum == s.sum }) {
-		w.sights[state.Index] = append(w.sights[state.Index], s)
+	w.lastTrees[name] = state
+	if !slices.ContainsFunc(w.trees[state.Index], func(o *treeSample) bool { return o.checksum == s.checksum }) {
+		w.trees[state.Index] = append(w.trees[state.Index], s)
 	}
 }
 
 // now is how an agent stood when it was last asked, if it answered.
-func (w *watchers) now(name string) (l look, ok bool) {
+func (w *watcher) latest(name string) (l stateSample, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if n := len(w.looks[name]); n > 0 {
-		l = w.looks[name][n-1]
+	if n := len(w.samples[name]); n > 0 {
+		l = w.samples[name][n-1]
 	}
-	return l, w.up[name]
+	return l, w.isUp[name]
 }
 
 // tree is what an agent held when it was last asked, and at which index.
-func (w *watchers) tree(name string) (account.State, uint64) {
+func (w *watcher) tree(name string) (account.State, uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if s := w.last[name]; s != nil {
+	if s := w.lastTrees[name]; s != nil {
 		return s.Accounts, s.Index
 	}
 	return account.State{}, 0
 }
 
 // await waits until an agent is seen to hold an entry.
-func (w *watchers) await(ctx context.Context, name string, index uint64) bool {
+func (w *watcher) waitForIndex(ctx context.Context, name string, index uint64) bool {
 	return testbed.AfterIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
 }
 
 // leader is who leads the record and says so itself; empty for nobody.
-func (w *watchers) leader() string {
+func (w *watcher) leader() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(w.looks)) {
-		if l := w.looks[name][len(w.looks[name])-1]; w.up[name] && l.Role == "leader" && l.WithinLease {
+	for _, name := range slices.Sorted(maps.Keys(w.samples)) {
+		if l := w.samples[name][len(w.samples[name])-1]; w.isUp[name] && l.Role == "leader" && l.WithinLease {
 			return name
 		}
 	}
@@ -129,10 +129,10 @@
 }
 
 // asOne tells whether all of some members answer, hear the record and hold the same.
-func (w *watchers) asOne(names []string) bool {
-	first, _ := w.now(names[0])
+func (w *watcher) hasConverged(names []string) bool {
+	first, _ := w.latest(names[0])
 	for _, name := range names {
-		l, up := w.now(name)
+		l, up := w.latest(name)
 		if !up || !l.WithinLease || l.Leader == "" || l.Index != first.Index || l.Hash != first.Hash {
 			return false
 		}
@@ -141,9 +141,9 @@
 }
 
 // read tells whether of all of some members the tree is known at the index they are at.
-func (w *watchers) read(names []string) bool {
+func (w *watcher) hasCurrentTrees(names []string) bool {
 	for _, name := range names {
-		l, _ := w.now(name)
+		l, _ := w.latest(name)
 		if _, at := w.tree(name); at != l.Index {
 			return false
 		}
@@ -152,13 +152,13 @@
 }
 
 // say tells people how all agents stand.
-func (w *watchers) say() string {
+func (w *watcher) describe() string {
 	var b strings.Builder
 	w.mu.Lock()
-	names := slices.Sorted(maps.Keys(w.up))
+	names := slices.Sorted(maps.Keys(w.isUp))
 	w.mu.Unlock()
 	for _, name := range names {
-		l, up := w.now(name)
+		l, up := w.latest(name)
 		fmt.Fprintf(&b, "%s up %v index %d hash %.8s role %s leader %q fresh %v disk %q; ", name, up, l.Index, l.Hash, l.Role, l.Leader, l.WithinLease, l.DiskError)
 	}
 	return b.String()
