scenario/zones: phases, checks and the watcher read by themselves; typed evacuation

An evacuation and its bounds are a type; phases, testbed options and minimum shares stand apart; comments and violations' details in the field's terms. Rules, metrics, phases, mutations, bounds and draws are unchanged.

--- a/internal/scenario/zones/checks.go
+++ b/internal/scenario/zones/checks.go
@@ -7,105 +7,160 @@
 	"time"
 
 	"coralrelay/internal/fake"
+	"coralrelay/internal/fleet/agentapi"
 	"coralrelay/internal/scenario/testbed"
 )
 
-// left waits until some nodes must have left a zone, and holds them to the bounds: none of
-// them sends it a first line later than bound after the fault, and of those of one viewpoint,
-// who leave by one change, the last leaves no later than togetherBound after the first. A
-// viewpoint that can't tell need not leave, as long as it sends nothing.
-func (s *scenario) checkEvacuated(ctx context.Context, step, zone string, nodes []string, fault time.Time, bound time.Duration) {
-	late := fault.Add(bound + evacuationSlack)
-	s.SetMetric(step+"_asked_before", float64(len(s.FirstLinesInto(zone, fault.Add(-time.Second), fault))))
-	s.RequireAtLeast(step+"_asked_before", 5) // else nobody had anything to leave
-	fake.Sleep(ctx, time.Until(late)+observationTime)
-	testbed.Await(ctx, time.Until(fault.Add(bound+decisionTimeout)), func() bool {
-		left := s.watcher.evacuatedAt(zone, fault)
-		return slices.ContainsFunc(nodes, func(name string) bool { return !left[name].IsZero() })
+const (
+	// observationTime is how long after the bound it is observed: it shows who has not evacuated.
+	observationTime = 1200 * time.Millisecond
+	// decisionTimeout is how long after the bound the replicated log may take to decide what the
+	// nodes do by themselves: once they only probe a zone, evidence of it comes slowly.
+	decisionTimeout = 3 * time.Second
+	// maxSurvivorLoad is how full the remaining servers may be, counted in a second: full, and by
+	// chance a little more.
+	maxSurvivorLoad = 1.25
+	// minGoesOn is the share of the usual first lines that nodes without a fault send at least.
+	minGoesOn = 0.4
+)
+
+// violationf reports a broken rule.
+func (s *scenario) violationf(rule, format string, args ...any) {
+	s.AddViolation(rule, fmt.Sprintf(format, args...))
+}
+
+// recordMax sets a metric to the greatest of its values, in ms.
+func (s *scenario) recordMax(metric string, d time.Duration) {
+	s.SetMetric(metric, max(s.Metric(metric), float64(d.Milliseconds())))
+}
+
+// evacuation is that nodes must evacuate a zone after a fault.
+type evacuation struct {
+	phase, zone string
+	nodes       []string
+	faultAt     time.Time
+	bound       time.Duration // after the fault
+}
+
+// checkEvacuated waits until the nodes must have evacuated the zone, and checks the bounds: none of
+// them sends it a first line later than the bound after the fault, and of those of one observing
+// zone, which follow the same log entry, the last evacuates no later than spreadBound after the
+// first. An observing zone that can't tell need not evacuate, as long as it sends nothing.
+func (s *scenario) checkEvacuated(ctx context.Context, e evacuation) {
+	before := s.FirstLinesInto(e.zone, e.faultAt.Add(-time.Second), e.faultAt)
+	s.SetMetric(e.phase+"_asked_before", float64(len(before)))
+	s.RequireAtLeast(e.phase+"_asked_before", 5) // else there was nothing to evacuate
+	fake.Sleep(ctx, time.Until(e.deadline())+observationTime)
+	testbed.Await(ctx, time.Until(e.faultAt.Add(e.bound+decisionTimeout)), func() bool {
+		evacuatedAt := s.watcher.evacuatedAt(e.zone, e.faultAt)
+		return slices.ContainsFunc(e.nodes, func(name string) bool { return !evacuatedAt[name].IsZero() })
 	})
 	if ctx.Err() != nil {
 		return
 	}
-	at, first := s.watcher.evacuatedAt(zone, fault), map[string]time.Time{} // by viewpoint
-	for name, t := range at {
-		if from := s.Zone(name); slices.Contains(nodes, name) && (first[from].IsZero() || t.Before(first[from])) {
-			first[from] = t
-		}
+	evacuatedAt := s.watcher.evacuatedAt(e.zone, e.faultAt)
+	firstAt := s.firstByObservingZone(e, evacuatedAt)
+	if len(firstAt) == 0 {
+		s.violationf("leave", "%s: no node had evacuated %s %v after the fault",
+			e.phase, e.zone, time.Since(e.faultAt).Round(time.Millisecond))
 	}
-	if len(first) == 0 {
-		s.AddViolation("leave", fmt.Sprintf("%s: nobody had left %s %v after the fault", step, zone, time.Since(fault).Round(time.Millisecond)))
+	s.checkSpread(e, evacuatedAt, firstAt)
+	s.checkLateFirstLines(e, firstAt)
+}
+
+// deadline is when no node may send the zone a first line any more.
+func (e evacuation) deadline() time.Time { return e.faultAt.Add(e.bound + evacuationSlack) }
+
+// firstByObservingZone returns when the first node of each observing zone evacuated.
+func (s *scenario) firstByObservingZone(e evacuation, evacuatedAt map[string]time.Time) map[string]time.Time {
+	firstAt := map[string]time.Time{}
+	for name, at := range evacuatedAt {
+		from := s.Zone(name)
+		if slices.Contains(e.nodes, name) && (firstAt[from].IsZero() || at.Before(firstAt[from])) {
+			firstAt[from] = at
+		}
 	}
-	lastLine, stayed := time.Duration(0), 0.0
-	for _, name := range nodes {
-		t, ok := at[name]
+	return firstAt
+}
+
+// checkSpread checks that the nodes of one observing zone evacuate together.
+func (s *scenario) checkSpread(e evacuation, evacuatedAt, firstAt map[string]time.Time) {
+	stayed := 0.0
+	for _, name := range e.nodes {
+		at, ok := evacuatedAt[name]
 		if !ok {
 			stayed++
 			continue
 		}
-		s.recordMax(step+"_left_ms", t.Sub(fault))
-		spread := t.Sub(first[s.Zone(name)])
-		s.recordMax(step+"_spread_ms", spread)
+		s.recordMax(e.phase+"_left_ms", at.Sub(e.faultAt))
+		spread := at.Sub(firstAt[s.Zone(name)])
+		s.recordMax(e.phase+"_spread_ms", spread)
 		if spread > spreadBound+2*pollInterval {
-			s.AddViolation("together", fmt.Sprintf("%s: %s left %s %v after the first of its zone, at most %v is allowed", step, name, zone, spread, spreadBound))
+			s.violationf("together", "%s: %s evacuated %s %v after the first of its zone, at most %v is allowed",
+				e.phase, name, e.zone, spread, spreadBound)
 		}
 	}
-	s.SetMetric(step+"_not_left", max(s.Metric(step+"_not_left"), stayed))
-	for _, l := range s.FirstLinesInto(zone, fault, time.Now()) {
-		if !slices.Contains(nodes, l.Node) {
+	s.SetMetric(e.phase+"_not_left", max(s.Metric(e.phase+"_not_left"), stayed))
+}
+
+// checkLateFirstLines checks that no node sends the zone a first line once it must not.
+func (s *scenario) checkLateFirstLines(e evacuation, firstAt map[string]time.Time) {
+	last := time.Duration(0)
+	for _, l := range s.FirstLinesInto(e.zone, e.faultAt, time.Now()) {
+		if !slices.Contains(e.nodes, l.Node) {
 			continue
 		}
-		lastLine = l.At.Sub(fault)
-		begun := first[s.Zone(l.Node)]
+		last = l.At.Sub(e.faultAt)
+		begun := firstAt[s.Zone(l.Node)]
 		switch {
-		case l.At.After(late):
-			s.AddViolation("leave", fmt.Sprintf("%s: %s sent %s a first line %v after the fault", step, l.Node, l.Server, lastLine))
+		case l.At.After(e.deadline()):
+			s.violationf("leave", "%s: %s sent %s a first line %v after the fault", e.phase, l.Node, l.Server, last)
 		case !begun.IsZero() && l.At.Sub(begun) > spreadBound+inFlightSlack:
-			s.AddViolation("together", fmt.Sprintf("%s: %s sent %s a first line %v after the first of its zone had left", step, l.Node, l.Server, l.At.Sub(begun)))
+			s.violationf("together", "%s: %s sent %s a first line %v after the first of its zone had evacuated",
+				e.phase, l.Node, l.Server, l.At.Sub(begun))
 		}
 	}
-	s.recordMax(step+"_last_line_ms", lastLine)
+	s.recordMax(e.phase+"_last_line_ms", last)
 }
 
-const (
-	// looksOn is for how long after the bound it is looked on: who has not left is seen by then.
-	observationTime = 1200 * time.Millisecond
-	// decided is how long after the bound the record may need to say what the nodes keep to by
-	// themselves: once they ask a zone only by probes, evidence of it comes slowly.
-	decisionTimeout = 3 * time.Second
-)
-
-// most keeps the greatest of a figure, in ms.
-func (s *scenario) recordMax(figure string, d time.Duration) {
-	s.SetMetric(figure, max(s.Metric(figure), float64(d.Milliseconds())))
+// checkNotEvacuated checks that the log evacuated none of some pairs of observing zone and zone.
+func (s *scenario) checkNotEvacuated(phase string, since time.Time, isPair func(p agentapi.ZoneStatus) bool) {
+	evacuated := s.watcher.statusChangesSince(since, func(p agentapi.ZoneStatus) bool {
+		return isPair(p) && isEvacuated(p.Status)
+	})
+	if len(evacuated) > 0 {
+		first := evacuated[0]
+		s.violationf("accuse", "%s: %s evacuated %s, which serves", phase, first.ObservingZone, first.Zone)
+	}
 }
 
-// stays holds some nodes to going on with a zone: they send it as much as before, but for
-// chance.
-func (s *scenario) checkStillSends(step, zone string, nodes []string, from, until time.Time) {
-	n := 0
+// checkStillSends checks that some nodes send a zone as much as before, but for chance.
+func (s *scenario) checkStillSends(phase, zone string, nodes []string, from, until time.Time) {
+	sent := 0
 	for _, l := range s.FirstLinesInto(zone, from, until) {
 		if slices.Contains(nodes, l.Node) {
-			n++
+			sent++
 		}
 	}
 	usual := s.rate / float64(len(s.Names)) * float64(len(nodes)) / float64(len(s.Zones)) * until.Sub(from).Seconds()
-	s.SetMetric(step+"_goes_on", float64(n)/usual)
-	if float64(n) < 0.4*usual {
-		s.AddViolation("viewpoint", fmt.Sprintf("%s: those who reach %s sent it %d first lines, about %.0f are usual", step, zone, n, usual))
+	s.SetMetric(phase+"_goes_on", float64(sent)/usual)
+	if float64(sent) < minGoesOn*usual {
+		s.violationf("viewpoint", "%s: the nodes that reach %s sent it %d first lines, about %.0f are usual",
+			phase, zone, sent, usual)
 	}
 }
 
-// within holds servers to what they can bear, as they are full: what is over has to be
-// refused before it is sent.
-func (s *scenario) checkSurvivorLoad(step string, list []*testbed.Server, from, until time.Time) {
+// checkSurvivorLoad checks that the remaining servers are not overloaded while they are full: the
+// excess has to be rejected before it is sent.
+func (s *scenario) checkSurvivorLoad(phase string, survivors []*testbed.Server, from, until time.Time) {
 	const window = time.Second
-	bears := 0.0
-	for _, v := range list {
-		bears += s.CapacityOf(v, until)
+	capacity := 0.0
+	for _, v := range survivors {
+		capacity += s.CapacityOf(v, until)
 	}
 	var at []time.Time
 	for _, l := range s.FirstLines(from, until) {
-		if slices.ContainsFunc(list, func(v *testbed.Server) bool { return v.Name == l.Server }) {
+		if slices.ContainsFunc(survivors, func(v *testbed.Server) bool { return v.Name == l.Server }) {
 			at = append(at, l.At)
 		}
 	}
@@ -114,25 +169,24 @@
 		for t.Sub(at[first]) > window {
 			first++
 		}
-		most = max(most, float64(i-first+1)/bears/window.Seconds())
+		most = max(most, float64(i-first+1)/capacity/window.Seconds())
 	}
-	s.SetMetric(step+"_survivors_most_of_budget", most)
+	s.SetMetric(phase+"_survivors_most_of_budget", most)
 	if most > maxSurvivorLoad {
-		s.AddViolation("panic", fmt.Sprintf("%s: those that stay were sent %.2f times what they bear within %v", step, most, window))
+		s.violationf("panic", "%s: the remaining servers were sent %.2f times their capacity within %v",
+			phase, most, window)
 	}
 }
 
-// survivors is how full those that stay may be, counted in a second: full, and by chance.
-const maxSurvivorLoad = 1.25
-
-// comesBack waits until the fleet sends everywhere again, all members alike.
-func (s *scenario) checkRecovers(ctx context.Context, step string) {
-	took, came := testbed.Await(ctx, recoveryBound, func() bool { return s.watcher.hasRecovered(s.Names) })
+// checkRecovers waits until the fleet sends everywhere again, all members alike.
+func (s *scenario) checkRecovers(ctx context.Context, phase string) {
+	took, hasRecovered := testbed.Await(ctx, recoveryBound, func() bool { return s.watcher.hasRecovered(s.Names) })
 	if ctx.Err() != nil {
 		return
 	}
-	s.recordMax(step+"_return_ms", took)
-	if !came {
-		s.AddViolation("return", fmt.Sprintf("%s: not all send everywhere again %v after it was mended: %s", step, took, s.watcher.describe()))
+	s.recordMax(phase+"_return_ms", took)
+	if !hasRecovered {
+		s.violationf("return", "%s: not all nodes send everywhere again %v after the fault ended: %s",
+			phase, took, s.watcher.describe())
 	}
 }
--- a/internal/scenario/zones/partitions.go
+++ b/internal/scenario/zones/partitions.go
@@ -9,9 +9,13 @@
 
 	"coralrelay/internal/fake"
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/scenario/faultproxy"
 	"coralrelay/internal/scenario/testbed"
 )
 
+// linkCut is the fault of a link that is down.
+var linkCut = faultproxy.Fault{Cut: true}
+
 func serverNames(list []*testbed.Server) (names []string) {
 	for _, v := range list {
 		names = append(names, v.Name)
@@ -19,22 +23,24 @@
 	return names
 }
 
-// link cuts what one zone says to another, of nodes and of agents: it alone leaves, and all
-// others go on.
+// oneWayPartition cuts what the nodes and agents of one zone send to another: only they evacuate it,
+// and all others go on.
 func (s *scenario) oneWayPartition(ctx context.Context, _ *mrand.Rand) error {
 	from, to := s.nextZone(), s.nextZone()
 	begun := time.Now()
 	s.Proxy.SetOneWay(s.NodesIn(from, true), append(serverNames(s.ServersIn(to)), s.NodesIn(to, true)...), linkCut)
-	s.checkEvacuated(ctx, "link", to, s.NodesIn(from, true), begun, evacuationBound)
+	s.checkEvacuated(ctx, evacuation{"link", to, s.NodesIn(from, true), begun, evacuationBound})
 	s.checkStillSends("link", to, s.NodesIn(from, false), begun.Add(evacuationBound), time.Now())
-	s.checkNotEvacuated("link", begun, func(p agentapi.ZoneStatus) bool { return p.ObservingZone != from || p.Zone != to })
+	s.checkNotEvacuated("link", begun, func(p agentapi.ZoneStatus) bool {
+		return p.ObservingZone != from || p.Zone != to
+	})
 	s.Proxy.Heal()
 	s.checkRecovers(ctx, "link")
 	return nil
 }
 
-// one cuts a single node off from a zone's servers: its zone does not leave for its sake, and
-// it does not leave by itself, as it hears the record.
+// partitionedNode cuts a single node off from a zone's servers: its zone does not evacuate for its
+// sake, and it does not evacuate by itself, as it is in contact with the leader.
 func (s *scenario) partitionedNode(ctx context.Context, _ *mrand.Rand) error {
 	from, to := s.Zone(s.Names[0]), s.nextZone() // the first zone has the most nodes
 	if to == from {
@@ -46,14 +52,14 @@
 	s.checkStillSends("one", to, s.Names[1:], begun.Add(evacuationBound/2), time.Now())
 	s.checkNotEvacuated("one", begun, func(p agentapi.ZoneStatus) bool { return true })
 	for name := range s.watcher.evacuatedAt(to, begun) {
-		s.AddViolation("together", fmt.Sprintf("one: %s, which hears the record, left %s by itself", name, to))
+		s.violationf("together", "one: %s, which is within its lease, evacuated %s by itself", name, to)
 	}
 	s.Proxy.Heal()
 	s.checkRecovers(ctx, "one")
 	return nil
 }
 
-// self cuts a zone's nodes off from the servers of all others: it accuses nobody.
+// isolatedZone cuts a zone's nodes off from the servers of all others: it reports no zone as failed.
 func (s *scenario) isolatedZone(ctx context.Context, _ *mrand.Rand) error {
 	from := s.nextZone()
 	others := slices.DeleteFunc(s.AllServers(), func(v *testbed.Server) bool { return v.Zone == from })
@@ -71,13 +77,13 @@
 	return nil
 }
 
-// disk fills the leader's disk as the fleet is about to leave a zone: another leads, and the
-// zone is left.
+// fullDisk fills the leader's disk as the fleet is about to evacuate a zone: another member leads,
+// and the zone is evacuated.
 func (s *scenario) fullDisk(ctx context.Context, rng *mrand.Rand) error {
 	leader := s.watcher.leader()
 	a := s.Agents[leader]
 	if a == nil {
-		return fmt.Errorf("disk: nobody leads: %s", s.watcher.describe())
+		return fmt.Errorf("disk: no leader: %s", s.watcher.describe())
 	}
 	zone := s.nextZone()
 	begun := time.Now()
@@ -86,29 +92,33 @@
 	if err := a.SetDiskFull(true); err != nil {
 		return err
 	}
-	s.checkEvacuated(ctx, "disk", zone, s.Names, begun, evacuationBound+electionBound)
+	s.checkEvacuated(ctx, evacuation{"disk", zone, s.Names, begun, evacuationBound + electionBound})
 	state, _ := s.watcher.state(leader)
 	if next := s.watcher.leader(); next == "" || next == leader || state.DiskError == "" {
-		s.AddViolation("disk", fmt.Sprintf("%s, whose disk is full, says %q of it as %s; %q leads", leader, state.DiskError, state.Role, next))
+		s.violationf("disk", "%s, whose disk is full, reports %q as %s; %q leads",
+			leader, state.DiskError, state.Role, next)
 	}
 	if err := a.SetDiskFull(false); err != nil {
 		return err
 	}
 	setFault(s.ServersIn(zone), fake.Healthy)
 	s.checkRecovers(ctx, "disk")
-	took, came := testbed.Await(ctx, 5*time.Second, func() bool { state, _ = s.watcher.state(leader); return state.DiskError == "" })
+	took, isWritable := testbed.Await(ctx, 5*time.Second, func() bool {
+		state, _ = s.watcher.state(leader)
+		return state.DiskError == ""
+	})
 	s.recordMax("disk_writes_again_ms", took)
-	if !came && ctx.Err() == nil {
-		s.AddViolation("disk", fmt.Sprintf("%s says %q of a disk that takes writes again", leader, state.DiskError))
+	if !isWritable && ctx.Err() == nil {
+		s.violationf("disk", "%s reports %q of a disk that is writable again", leader, state.DiskError)
 	}
 	return nil
 }
 
-// leader loses the zone in which the record is led, with its servers, nodes and agents.
+// lostLeaderZone loses the zone of the leader, with its servers, nodes and agents.
 func (s *scenario) lostLeaderZone(ctx context.Context, _ *mrand.Rand) error {
 	zone := s.Zone(s.watcher.leader())
 	if zone == "" {
-		return fmt.Errorf("leader: nobody leads: %s", s.watcher.describe())
+		return fmt.Errorf("leader: no leader: %s", s.watcher.describe())
 	}
 	begun := time.Now()
 	lost := s.NodesIn(zone, true)
@@ -116,7 +126,8 @@
 		s.KillMachine(name)
 	}
 	list := s.ServersIn(zone)
-	if err := s.killServersOfZone(ctx, "leader", list, s.NodesIn(zone, false), begun, evacuationBound+electionBound); err != nil {
+	bound := evacuationBound + electionBound
+	if err := s.killServersOfZone(ctx, "leader", list, s.NodesIn(zone, false), begun, bound); err != nil {
 		return err
 	}
 	for _, name := range lost {
@@ -131,31 +142,31 @@
 	return nil
 }
 
-// lone cuts one member off from all others, and then has a zone fail: it leaves by what its
-// node sees, the others by the record; healed, it goes by the record again.
+// isolatedMember cuts one member off from all others, and then has a zone fail: it evacuates by what
+// its own node sees, the others by the replicated log; healed, it follows the log again.
 func (s *scenario) isolatedMember(ctx context.Context, _ *mrand.Rand) error {
 	name := s.Names[len(s.Names)-1]
 	others := s.Names[:len(s.Names)-1]
-	zone := s.nextZone(s.Zone(name)) // nobody alone leaves his own
+	zone := s.nextZone(s.Zone(name)) // an isolated member never evacuates its own zone
 	s.Proxy.SetBetween([]string{name}, others, linkCut)
 	fake.Sleep(ctx, leaseTimeout+evacuationSlack)
 	if state, _ := s.watcher.state(name); state.WithinLease {
-		s.AddViolation("lone", fmt.Sprintf("%s hears the record through a cut", name))
+		s.violationf("lone", "%s is within its lease though it is cut off", name)
 	}
 	begun := time.Now()
 	setFault(s.ServersIn(zone), fake.Unresponsive)
-	s.checkEvacuated(ctx, "lone_others", zone, others, begun, evacuationBound)
-	s.checkEvacuated(ctx, "lone", zone, []string{name}, begun, isolatedBound)
+	s.checkEvacuated(ctx, evacuation{"lone_others", zone, others, begun, evacuationBound})
+	s.checkEvacuated(ctx, evacuation{"lone", zone, []string{name}, begun, isolatedBound})
 	s.Proxy.Heal()
 	healed := time.Now()
-	_, came := testbed.Await(ctx, 8*time.Second, func() bool {
+	_, hasRejoined := testbed.Await(ctx, 8*time.Second, func() bool {
 		state, _ := s.watcher.state(name)
 		other, _ := s.watcher.state(others[0])
 		return state.WithinLease && state.Index == other.Index && state.Hash == other.Hash
 	})
 	s.recordMax("lone_rejoins_ms", time.Since(healed))
-	if !came && ctx.Err() == nil {
-		s.AddViolation("lone", fmt.Sprintf("%s does not hear the record again: %s", name, s.watcher.describe()))
+	if !hasRejoined && ctx.Err() == nil {
+		s.violationf("lone", "%s does not follow the log again: %s", name, s.watcher.describe())
 	}
 	setFault(s.ServersIn(zone), fake.Healthy)
 	s.checkRecovers(ctx, "lone")
--- a/internal/scenario/zones/watcher.go
+++ b/internal/scenario/zones/watcher.go
@@ -14,36 +14,36 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// looks is how often each agent is asked what it knows.
+// pollInterval is how often each agent is asked for its state.
 const pollInterval = 40 * time.Millisecond
 
-// watchers ask all agents all the time, and keep when what they told changed.
+// watcher polls the state of all agents, and records when it changed.
 type watcher struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
 	mu            sync.Mutex
-	states        map[string]agentapi.State // by agent; none of those that do not answer
+	states        map[string]agentapi.State // by agent; without those that do not answer
 	limitChanges  []limitChange
 	statusChanges []statusChange
 	rejections    []rejectionChange
 	zonesVersion  uint64
 }
 
-// overSeen is what the record has refused since a time.
+// rejectionChange is that the replicated log has another share of the load rejected.
 type rejectionChange struct {
 	share float64
 	at    time.Time
 }
 
-// boundSeen is that an agent's node is told another share of a zone.
+// limitChange is that an agent's node has another share of a zone as its limit.
 type limitChange struct {
 	agent, zone string
 	share       float64
 	at          time.Time
 }
 
-// postureSeen is that the record has another posture.
+// statusChange is that the replicated log has another status of a zone.
 type statusChange struct {
 	agentapi.ZoneStatus
 	at time.Time
@@ -67,12 +67,13 @@
 	return w
 }
 
+// close ends the polls.
 func (w *watcher) close() {
 	w.cancel()
 	w.wg.Wait()
 }
 
-// heard takes one agent's answer.
+// recordState records the state of an agent; ok is false if it did not answer.
 func (w *watcher) recordState(name string, s agentapi.State, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,10 +81,10 @@
 		delete(w.states, name)
 		return
 	}
-	was, is, now := sharesByZone(w.states[name].ZoneLimits), sharesByZone(s.ZoneLimits), time.Now()
-	for zone := range mergeZones(was, is) {
-		if shareOf(was, zone) != shareOf(is, zone) {
-			w.limitChanges = append(w.limitChanges, limitChange{name, zone, shareOf(is, zone), now})
+	before, after, now := sharesByZone(w.states[name].ZoneLimits), sharesByZone(s.ZoneLimits), time.Now()
+	for zone := range mergeZones(before, after) {
+		if share := shareOf(after, zone); share != shareOf(before, zone) {
+			w.limitChanges = append(w.limitChanges, limitChange{name, zone, share, now})
 		}
 	}
 	w.states[name] = s
@@ -93,33 +94,34 @@
 	w.zonesVersion = s.ZonesVersion
 	w.rejections = append(w.rejections, rejectionChange{s.RejectedShare, now})
 	for _, p := range s.ZoneStatuses {
-		if i := slices.IndexFunc(w.statusChanges, func(o statusChange) bool { return o.ObservingZone == p.ObservingZone && o.Zone == p.Zone }); i < 0 || w.lastStatus(p.ObservingZone, p.Zone).ZoneStatus != p {
+		if last, ok := w.lastStatus(p.ObservingZone, p.Zone); !ok || last.ZoneStatus != p {
 			w.statusChanges = append(w.statusChanges, statusChange{p, now})
 		}
 	}
 }
 
-// last is the latest posture that was seen of a pair; the lock is held.
-func (w *watcher) lastStatus(from, to string) (p statusChange) {
-	for _, o := range w.statusChanges {
-		if o.ObservingZone == from && o.Zone == to {
-			p = o
+// lastStatus returns the latest status of a zone for an observing zone; the lock is held.
+func (w *watcher) lastStatus(observingZone, zone string) (last statusChange, ok bool) {
+	for _, change := range w.statusChanges {
+		if change.ObservingZone == observingZone && change.Zone == zone {
+			last, ok = change, true
 		}
 	}
-	return p
+	return last, ok
 }
 
-func sharesByZone(bounds []agentapi.ZoneLimit) map[string]float64 {
-	m := map[string]float64{}
-	for _, b := range bounds {
-		m[b.Zone] = b.Share
+func sharesByZone(limits []agentapi.ZoneLimit) map[string]float64 {
+	shares := map[string]float64{}
+	for _, limit := range limits {
+		shares[limit.Zone] = limit.Share
 	}
-	return m
+	return shares
 }
 
-func shareOf(m map[string]float64, zone string) float64 {
-	if x, ok := m[zone]; ok {
-		return x
+// shareOf returns the share of a zone: all of it if there is no limit.
+func shareOf(shares map[string]float64, zone string) float64 {
+	if share, ok := shares[zone]; ok {
+		return share
 	}
 	return 1
 }
@@ -130,7 +132,7 @@
 	return all
 }
 
-// state is what an agent told last, and whether it answers.
+// state returns the last state of an agent, and whether it answers.
 func (w *watcher) state(name string) (agentapi.State, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -138,7 +140,7 @@
 	return s, ok
 }
 
-// leader is who leads the record, by what most of those who hear it say; empty for nobody.
+// leader returns the leader by the vote of the members within their lease; empty for none.
 func (w *watcher) leader() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -153,13 +155,17 @@
 	return best
 }
 
-// settled tells whether all members hear the record, alike, and send everywhere.
+// hasRecovered reports whether all members follow the same log and send everywhere.
 func (w *watcher) hasRecovered(names []string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	first := w.states[names[0]]
 	for _, name := range names {
 		s, ok := w.states[name]
-		if !ok || !s.WithinLease || s.Leader == "" || s.RejectedShare > 0 || s.Index != w.states[names[0]].Index || s.Hash != w.states[names[0]].Hash {
+		if !ok || !s.WithinLease || s.Leader == "" || s.RejectedShare > 0 {
+			return false
+		}
+		if s.Index != first.Index || s.Hash != first.Hash {
 			return false
 		}
 		for _, b := range s.ZoneLimits {
@@ -171,7 +177,7 @@
 	return true
 }
 
-// leaves is when agents' nodes were first told to send a zone nothing, since a time.
+// evacuatedAt returns by agent when its node's limit of a zone first became 0 after a time.
 func (w *watcher) evacuatedAt(zone string, since time.Time) map[string]time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -184,19 +190,21 @@
 	return at
 }
 
-// seen are the postures that the record took since a time, of those that fit.
-func (w *watcher) statusChangesSince(since time.Time, fits func(p agentapi.ZoneStatus) bool) (list []statusChange) {
+// statusChangesSince returns the changes of status after a time that match.
+func (w *watcher) statusChangesSince(
+	since time.Time, matches func(p agentapi.ZoneStatus) bool,
+) (list []statusChange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, p := range w.statusChanges {
-		if p.at.After(since) && fits(p.ZoneStatus) {
+		if p.at.After(since) && matches(p.ZoneStatus) {
 			list = append(list, p)
 		}
 	}
 	return list
 }
 
-// over is the most that the record has had refused since a time.
+// maxRejectedShare returns the greatest share of the load that was rejected after a time.
 func (w *watcher) maxRejectedShare(since time.Time) (most float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -208,14 +216,15 @@
 	return most
 }
 
-// say tells people what all agents told last.
+// describe returns the last states of all agents, for people.
 func (w *watcher) describe() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(w.states)) {
 		s := w.states[name]
-		fmt.Fprintf(&b, "%s index %d leader %q fresh %v over %g bounds %v; ", name, s.Index, s.Leader, s.WithinLease, s.RejectedShare, s.ZoneLimits)
+		fmt.Fprintf(&b, "%s index %d leader %q within lease %v rejected share %g limits %v; ",
+			name, s.Index, s.Leader, s.WithinLease, s.RejectedShare, s.ZoneLimits)
 	}
 	return b.String()
 }
