--- a/internal/scenario/accounts/checks.go
+++ b/internal/scenario/accounts/checks.go
@@ -45,7 +45,7 @@
 	keys := map[string]uint64{}
 	for _, l := range s.history.revokedChains {
 		s.AddMetric("lines_revoked", 1)
-		for _, k := range l.keys {
+		for _, k := range l.keyNames {
 			keys[k] = l.revokedAt
 		}
 	}
--- a/internal/scenario/accounts/phases.go
+++ b/internal/scenario/accounts/phases.go
@@ -79,7 +79,7 @@
 }
 
 // leader kills the leader's agent, twice, and starts it again.
-func (s *scenario) leader(ctx context.Context, _ *mrand.Rand) error {
+func (s *scenario) killedLeader(ctx context.Context, _ *mrand.Rand) error {
 	for range 2 {
 		name, err := s.leaderToLose(ctx)
 		if err != nil {
@@ -98,7 +98,7 @@
 
 // oneWay cuts one direction: what the leader says to another voter, then all that is said
 // to the leader, which must not go on leading.
-func (s *scenario) oneWay(ctx context.Context, rng *mrand.Rand) error {
+func (s *scenario) oneWayPartition(ctx context.Context, rng *mrand.Rand) error {
 	name := s.watcher.leader()
 	deaf := s.randomAgent(rng, true, name)
 	s.beginFault(deaf)
@@ -121,7 +121,7 @@
 
 // apart cuts off a follower for longer than the lease, and the leader, while changes are
 // brought to it that it can't have committed.
-func (s *scenario) isolation(ctx context.Context, rng *mrand.Rand) error {
+func (s *scenario) isolatedMembers(ctx context.Context, rng *mrand.Rand) error {
 	lone := s.randomAgent(rng, false)
 	s.beginFault(lone)
 	s.Proxy.SetBetween([]string{lone}, s.allExcept(lone), linkCut)
@@ -152,7 +152,7 @@
 }
 
 // disk has the leader's disk fill up, and be freed.
-func (s *scenario) disk(ctx context.Context, _ *mrand.Rand) error {
+func (s *scenario) fullDisk(ctx context.Context, _ *mrand.Rand) error {
 	name, err := s.leaderToLose(ctx)
 	if err != nil {
 		return err
@@ -173,7 +173,7 @@
 }
 
 // stall stops a follower, then the leader, and has them go on as if nothing had been.
-func (s *scenario) stall(ctx context.Context, rng *mrand.Rand) error {
+func (s *scenario) pausedAgents(ctx context.Context, rng *mrand.Rand) error {
 	for _, follows := range [2]bool{true, false} {
 		name := s.randomAgent(rng, false)
 		if follows {
@@ -194,7 +194,7 @@
 
 // many has several things go wrong at once: the leader is killed, a follower is cut off one
 // way, and another stalls.
-func (s *scenario) many(ctx context.Context, rng *mrand.Rand) error {
+func (s *scenario) manyFaults(ctx context.Context, rng *mrand.Rand) error {
 	deaf := s.randomAgent(rng, false)
 	slow := s.randomAgent(rng, false, deaf)
 	name, err := s.leaderToLose(ctx)
--- a/internal/scenario/accounts/proposals.go
+++ b/internal/scenario/accounts/proposals.go
@@ -46,7 +46,7 @@
 
 // line is a line of grants that was revoked at an index: nothing by its keys is taken later.
 type grantChain struct {
-	keys      []string
+	keyNames  []string
 	revokedAt uint64
 }
 
--- a/internal/scenario/accounts/scenario.go
+++ b/internal/scenario/accounts/scenario.go
@@ -125,9 +125,9 @@
 func (s *scenario) run(ctx context.Context, chosen []string) error {
 	defer s.writers.Wait()
 	defer func() { s.stopWriters() }()
-	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Run: s.meet}, {Name: "calm", Run: s.calm}, {Name: "leader", Run: s.leader},
-		{Name: "oneway", Run: s.oneWay}, {Name: "apart", Run: s.isolation}, {Name: "disk", Run: s.disk}, {Name: "stall", Run: s.stall},
-		{Name: "many", Run: s.many}}, chosen)
+	err := s.Play(ctx, []testbed.Phase{{Name: "meet", Run: s.waitUntilReady}, {Name: "calm", Run: s.noFault}, {Name: "leader", Run: s.killedLeader},
+		{Name: "oneway", Run: s.oneWayPartition}, {Name: "apart", Run: s.isolatedMembers}, {Name: "disk", Run: s.fullDisk}, {Name: "stall", Run: s.pausedAgents},
+		{Name: "many", Run: s.manyFaults}}, chosen)
 	if err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 
 // meet lets members find each other and agree on a leader, founds the accounts, and has
 // writers begin.
-func (s *scenario) meet(ctx context.Context, _ *mrand.Rand) error {
+func (s *scenario) waitUntilReady(ctx context.Context, _ *mrand.Rand) error {
 	if _, met := testbed.Await(ctx, 15*time.Second, func() bool { return s.watcher.hasConverged(s.Names) }); !met && ctx.Err() == nil {
 		return fmt.Errorf("members did not meet: %s", s.watcher.describe())
 	}
@@ -153,13 +153,13 @@
 	writing, stop := context.WithCancel(ctx)
 	s.stopWriters = stop
 	for i, w := range s.tree.writers() {
-		w.scene, w.rng = s, mrand.New(mrand.NewPCG(s.Options.Seed, uint64(100+i)))
-		s.writers.Go(func() { w.write(writing) })
+		w.scenario, w.rng = s, mrand.New(mrand.NewPCG(s.Options.Seed, uint64(100+i)))
+		s.writers.Go(func() { w.run(writing) })
 	}
 	return nil
 }
 
-func (s *scenario) calm(ctx context.Context, _ *mrand.Rand) error {
+func (s *scenario) noFault(ctx context.Context, _ *mrand.Rand) error {
 	fake.Sleep(ctx, 2*time.Second)
 	return nil
 }
--- a/internal/scenario/accounts/writer.go
+++ b/internal/scenario/accounts/writer.go
@@ -26,7 +26,7 @@
 // writer is a team that makes moves, each through agents that it draws.
 type writer struct {
 	*team
-	scene    *scenario
+	scenario *scenario
 	rng      *rand.Rand
 	accepted []logentry.Entry // of its own, the last few
 }
@@ -44,13 +44,13 @@
 
 var moves = []move{
 	{"route", 30, nil, (*writer).putRoute}, {"no-route", 8, nil, (*writer).deleteRoute}, {"same", 8, isTeam, (*writer).raceWithParent},
-	{"limits", 14, hasChildren, (*writer).changeLimits}, {"cut-and-grow", 8, func(w *writer) bool { return hasChildren(w) && isTeam(w) }, (*writer).cutAndGrow},
+	{"limits", 14, hasChildren, (*writer).changeLimits}, {"cut-and-grow", 8, func(w *writer) bool { return hasChildren(w) && isTeam(w) }, (*writer).raceShrinkAndGrow},
 	{"swap", 6, func(w *writer) bool { return len(w.children) > 1 }, (*writer).swapLimits}, {"line", 10, hasChildren, (*writer).revokeChainInUse},
 	{"outside", 8, isTeam, (*writer).writeOutsideSubtree}, {"over", 6, hasChildren, (*writer).exceedParent}, {"half", 6, nil, (*writer).failHalfway}, {"again", 5, nil, (*writer).replay},
 }
 
 // write makes moves until ctx ends.
-func (w *writer) write(ctx context.Context) {
+func (w *writer) run(ctx context.Context) {
 	var fit []move
 	all := 0
 	for _, m := range moves {
@@ -63,7 +63,7 @@
 		n := w.rng.IntN(all)
 		for _, m := range fit {
 			if n -= m.weight; n < 0 {
-				w.scene.AddMetric("moves_"+m.name, 1)
+				w.scenario.AddMetric("moves_"+m.name, 1)
 				m.run(w, ctx)
 				break
 			}
@@ -71,17 +71,17 @@
 	}
 }
 
-func (w *writer) agent() string { return w.scene.Names[w.rng.IntN(len(w.scene.Names))] }
+func (w *writer) agent() string { return w.scenario.Names[w.rng.IntN(len(w.scenario.Names))] }
 
 // seen is the tree as an agent has it that may be behind.
 func (w *writer) observedTree() account.State {
-	s, _ := w.scene.watcher.tree(w.agent())
+	s, _ := w.scenario.watcher.tree(w.agent())
 	return s
 }
 
 // propose makes a change on what was seen, by a key, and keeps it where it was taken.
 func (w *writer) propose(k key, base account.State, what, never string, ops ...account.Op) *proposal {
-	o := w.scene.propose(k, w.agent(), account.Change{BaseVersion: base.Version, Ops: ops}, what, never)
+	o := w.scenario.propose(k, w.agent(), account.Change{BaseVersion: base.Version, Ops: ops}, what, never)
 	if o.isAccepted() && never == "" {
 		w.accepted = append(w.accepted[max(0, len(w.accepted)-7):], o.entry)
 	}
@@ -121,16 +121,16 @@
 func (w *writer) raceWithParent(_ context.Context) {
 	base, name := w.observedTree(), w.randomRouteName()
 	ours, theirs := account.Change{BaseVersion: base.Version, Ops: []account.Op{w.putRouteOp(w.path, name)}}, account.Change{BaseVersion: base.Version, Ops: []account.Op{w.putRouteOp(w.path, name)}}
-	pair := w.proposeConcurrently(func(to string) *proposal { return w.scene.propose(w.key, to, ours, "same", "") },
-		func(to string) *proposal { return w.scene.propose(w.parent.key, to, theirs, "same", "") })
-	w.scene.history.mu.Lock()
-	defer w.scene.history.mu.Unlock()
-	w.scene.history.races = append(w.scene.history.races, pair)
+	pair := w.proposeConcurrently(func(to string) *proposal { return w.scenario.propose(w.key, to, ours, "same", "") },
+		func(to string) *proposal { return w.scenario.propose(w.parent.key, to, theirs, "same", "") })
+	w.scenario.history.mu.Lock()
+	defer w.scenario.history.mu.Unlock()
+	w.scenario.history.races = append(w.scenario.history.races, pair)
 }
 
 // outside acts where the team has no say: on another team, and on its own limits.
 func (w *writer) writeOutsideSubtree(_ context.Context) {
-	base, all := w.observedTree(), w.scene.tree.teams
+	base, all := w.observedTree(), w.scenario.tree.teams
 	other := all[w.rng.IntN(len(all))]
 	if other == w.team || other.parent == w.team || w.rng.IntN(4) == 0 {
 		n := w.initialNode()
@@ -149,6 +149,6 @@
 // again brings an entry that was taken a second time, as anybody can who has kept it.
 func (w *writer) replay(_ context.Context) {
 	if len(w.accepted) > 0 {
-		w.scene.submit(w.accepted[w.rng.IntN(len(w.accepted))], w.agent(), "again", ruleTwice)
+		w.scenario.submit(w.accepted[w.rng.IntN(len(w.accepted))], w.agent(), "again", ruleTwice)
 	}
 }
--- a/internal/scenario/accounts/writer_limits.go
+++ b/internal/scenario/accounts/writer_limits.go
@@ -29,12 +29,12 @@
 }
 
 // cutAndGrow has who is above cut this team, and this team grow one of its own, at once.
-func (w *writer) cutAndGrow(_ context.Context) {
+func (w *writer) raceShrinkAndGrow(_ context.Context) {
 	base, t := w.observedTree(), w.randomChild()
 	cut := account.Change{BaseVersion: base.Version, Ops: []account.Op{setRateOp(w.team, w.initialNode().Limits.SetupRate*0.6, "")}}
 	grow := account.Change{BaseVersion: base.Version, Ops: []account.Op{setRateOp(t, t.initialNode().Limits.SetupRate*1.4, "")}}
-	pair := w.proposeConcurrently(func(to string) *proposal { return w.scene.propose(w.parent.key, to, cut, "cut", "") },
-		func(to string) *proposal { return w.scene.propose(w.key, to, grow, "grow", "") })
+	pair := w.proposeConcurrently(func(to string) *proposal { return w.scenario.propose(w.parent.key, to, cut, "cut", "") },
+		func(to string) *proposal { return w.scenario.propose(w.key, to, grow, "grow", "") })
 	if pair[0].isAccepted() { // so that there is room again
 		w.propose(w.parent.key, w.observedTree(), "regrow", "", setRateOp(w.team, w.initialNode().Limits.SetupRate, ""))
 	}
@@ -73,25 +73,25 @@
 	used := use()
 	var pair [2]*proposal
 	if ok {
-		pair = w.proposeConcurrently(func(to string) *proposal { return w.scene.propose(w.key, to, revoke, "revoke", "") },
-			func(to string) *proposal { return w.scene.propose(second, to, used, "use", "") })
+		pair = w.proposeConcurrently(func(to string) *proposal { return w.scenario.propose(w.key, to, revoke, "revoke", "") },
+			func(to string) *proposal { return w.scenario.propose(second, to, used, "use", "") })
 	} else { // it is taken back all the same
-		pair[0] = w.scene.propose(w.key, w.agent(), revoke, "revoke", "")
+		pair[0] = w.scenario.propose(w.key, w.agent(), revoke, "revoke", "")
 	}
 	if base, ok = w.waitForTree(ctx, pair[0]); !ok {
 		return
 	}
-	w.scene.history.mu.Lock()
-	w.scene.history.revokedChains = append(w.scene.history.revokedChains, grantChain{[]string{first.name(), second.name()}, pair[0].outcome.Index})
-	w.scene.history.mu.Unlock()
-	w.scene.propose(second, w.agent(), use(), "use-revoked", "")
-	w.scene.propose(first, w.agent(), account.Change{BaseVersion: base.Version, Ops: []account.Op{createGrantOp(second, w.path, 0, account.PermissionRoutes)}}, "grant-revoked", "")
+	w.scenario.history.mu.Lock()
+	w.scenario.history.revokedChains = append(w.scenario.history.revokedChains, grantChain{[]string{first.name(), second.name()}, pair[0].outcome.Index})
+	w.scenario.history.mu.Unlock()
+	w.scenario.propose(second, w.agent(), use(), "use-revoked", "")
+	w.scenario.propose(first, w.agent(), account.Change{BaseVersion: base.Version, Ops: []account.Op{createGrantOp(second, w.path, 0, account.PermissionRoutes)}}, "grant-revoked", "")
 }
 
 // after is the tree as soon as some agent has what was taken; not ok where it was not.
 func (w *writer) waitForTree(ctx context.Context, o *proposal) (account.State, bool) {
 	to := w.agent()
-	ok := o.isAccepted() && w.scene.watcher.waitForIndex(ctx, to, o.outcome.Index)
-	s, _ := w.scene.watcher.tree(to)
+	ok := o.isAccepted() && w.scenario.watcher.waitForIndex(ctx, to, o.outcome.Index)
+	s, _ := w.scenario.watcher.tree(to)
 	return s, ok
 }
