scenario/accounts: phases, faults, staleness and grants apart; typed status and races

Long functions are split, comments and violations' details in the field's terms. Rules, metrics, phases, mutations, bounds, labels in entries and the order of random draws are unchanged.

--- a/internal/scenario/accounts/checks.go
+++ b/internal/scenario/accounts/checks.go
@@ -13,74 +13,89 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// judge holds all that was answered and seen to the rules. Whole tells that all steps were
-// played, so that all that is to be provoked has been.
-func (s *scenario) check(whole bool) {
-	ops := s.history.proposals
-	slices.SortFunc(ops, func(a, b *proposal) int { return a.calledAt.Compare(b.calledAt) })
-	s.checkAnswers(ops)
+// violationf reports a broken rule.
+func (s *scenario) violationf(rule, format string, args ...any) {
+	s.AddViolation(rule, fmt.Sprintf(format, args...))
+}
+
+// leastActivity is how often what the scenario is to provoke happens at least in a complete run.
+var leastActivity = map[string]float64{
+	"taken": 250, "refused": 150, "leaders_lost": 6, "lines_revoked": 5, "races": 8, "answers_lost": 1,
+	"tried_" + ruleParent: 5, "tried_" + ruleSubtree: 8, "tried_" + ruleHalf: 8, "tried_" + ruleTwice: 5,
+	"trees_seen_share": 0.5,
+}
+
+// minServedShare is the share of the transactions beside it all that must be served at least.
+const minServedShare = 0.9
+
+// check checks all that was answered and observed. isComplete says that all phases ran, so that all
+// that is to be provoked has been.
+func (s *scenario) check(isComplete bool) {
+	proposals := s.history.proposals
+	slices.SortFunc(proposals, func(a, b *proposal) int { return a.calledAt.Compare(b.calledAt) })
+	s.checkAnswers(proposals)
 	s.checkTrees()
-	s.checkStaleness(ops)
-	s.measureTimes(ops)
-	if states := s.checkHistory(ops); states != nil {
+	s.checkStaleness(proposals)
+	s.measureTimes(proposals)
+	if states := s.checkHistory(proposals); states != nil {
 		s.checkStates(states)
 	}
 	s.RequireAtLeast("taken", 60)
-	if whole {
-		for figure, least := range map[string]float64{"taken": 250, "refused": 150, "leaders_lost": 6, "lines_revoked": 5, "tried_" + ruleParent: 5,
-			"tried_" + ruleSubtree: 8, "tried_" + ruleHalf: 8, "tried_" + ruleTwice: 5, "races": 8, "answers_lost": 1, "trees_seen_share": 0.5} {
-			s.RequireAtLeast(figure, least)
+	if isComplete {
+		for metric, least := range leastActivity {
+			s.RequireAtLeast(metric, least)
 		}
 	}
 	share, all := s.ServedShare(time.Now().Add(learningTime-s.Elapsed()), time.Now())
 	s.SetMetric("served_beside_it", share)
-	if all > 0 && share < 0.9 {
-		s.AddViolation("served", fmt.Sprintf("%.3f of %d transactions were served beside it, want 0.9 at least", share, all))
+	if all > 0 && share < minServedShare {
+		s.violationf("served", "%.3f of %d transactions were served beside it, want %v at least",
+			share, all, minServedShare)
 	}
 }
 
-// rules looks at each answer by itself.
-func (s *scenario) checkAnswers(ops []*proposal) {
-	at := map[uint64]*proposal{}
-	keys := map[string]uint64{}
-	for _, l := range s.history.revokedChains {
+// checkAnswers checks each answer by itself.
+func (s *scenario) checkAnswers(proposals []*proposal) {
+	byIndex := map[uint64]*proposal{}
+	revokedAt := map[string]uint64{} // by key name: an index
+	for _, chain := range s.history.revokedChains {
 		s.AddMetric("lines_revoked", 1)
-		for _, k := range l.keyNames {
-			keys[k] = l.revokedAt
+		for _, name := range chain.keyNames {
+			revokedAt[name] = chain.revokedAt
 		}
 	}
-	for _, o := range ops {
-		s.AddMetric(map[int]string{outcomeUnknown: "answers_lost", notProposed: "not_proposed", outcomeKnown: map[bool]string{true: "taken", false: "refused"}[o.outcome.Accepted]}[o.status], 1)
+	for _, o := range proposals {
+		s.AddMetric(o.metric(), 1)
 		if o.brokenRule != "" {
 			s.AddMetric("tried_"+o.brokenRule, 1)
 		}
 		if o.status != outcomeKnown || o.outcome.Index == 0 {
 			if o.isAccepted() {
-				s.AddViolation("answer", "taken at no index: "+o.String())
+				s.AddViolation("answer", "accepted at no index: "+o.String())
 			}
 			continue
 		}
-		if one := at[o.outcome.Index]; one != nil {
-			s.AddViolation("index", fmt.Sprintf("two entries at index %d: %v and %v", o.outcome.Index, one, o))
+		if one := byIndex[o.outcome.Index]; one != nil {
+			s.violationf("index", "two entries at index %d: %v and %v", o.outcome.Index, one, o)
 		}
-		at[o.outcome.Index] = o
+		byIndex[o.outcome.Index] = o
 		if o.isAccepted() && o.brokenRule != "" {
-			s.AddViolation(o.brokenRule, "taken: "+o.String())
+			s.AddViolation(o.brokenRule, "accepted: "+o.String())
 		}
-		if gone, ok := keys[o.entry.KeyName]; ok && o.isAccepted() && o.outcome.Index > gone {
-			s.AddViolation("revoked", fmt.Sprintf("revoked at %d, taken: %v", gone, o))
+		if index, ok := revokedAt[o.entry.KeyName]; ok && o.isAccepted() && o.outcome.Index > index {
+			s.violationf("revoked", "revoked at %d, accepted: %v", index, o)
 		}
 	}
 	for _, pair := range s.history.races {
 		s.AddMetric("races", 1)
 		if pair[0].isAccepted() && pair[1].isAccepted() {
-			s.AddViolation("compared", fmt.Sprintf("two on one base were both taken: %v and %v", pair[0], pair[1]))
+			s.violationf("compared", "two on one base version were both accepted: %v and %v", pair[0], pair[1])
 		}
 	}
 }
 
-// trees looks at what members held at each index: sums, scopes, ties and lines of grants,
-// and that all of them held the same.
+// checkTrees checks what members held at each index: limits, scopes, conflicts and chains of grants,
+// and that all members held the same.
 func (s *scenario) checkTrees() {
 	s.watcher.mu.Lock()
 	defer s.watcher.mu.Unlock()
@@ -89,16 +104,17 @@
 		list := s.watcher.trees[index]
 		last = index
 		if len(list) > 1 {
-			s.AddViolation("same", fmt.Sprintf("at index %d %s holds another state than %s: hashes %.8x and %.8x", index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash))
+			s.violationf("same", "at index %d %s holds another state than %s: hashes %.8x and %.8x",
+				index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash)
 		}
 		for _, one := range list {
-			t := one.state.Accounts
-			if err := t.Validate(); err != nil {
-				s.AddViolation("tree", fmt.Sprintf("%s at index %d: %v", one.agent, index, err))
+			tree := one.state.Accounts
+			if err := tree.Validate(); err != nil {
+				s.violationf("tree", "%s at index %d: %v", one.agent, index, err)
 			}
-			for _, r := range t.Routes {
+			for _, r := range tree.Routes {
 				if r.Name == halfRouteName {
-					s.AddViolation(ruleHalf, fmt.Sprintf("%s at index %d has route %q", one.agent, index, r.Path()))
+					s.violationf(ruleHalf, "%s at index %d has route %q", one.agent, index, r.Path())
 				}
 			}
 		}
@@ -107,32 +123,34 @@
 	s.SetMetric("trees_seen_share", float64(len(s.watcher.trees))/float64(max(last, 1)))
 }
 
-// told are the hashes that members told, by index. Who told another than the first is wrong.
+// reportedHashes returns the hashes that members reported, by index. A member that reported another
+// hash than the first breaks a rule.
 func (s *scenario) reportedHashes() map[uint64]logentry.Hash {
 	s.watcher.mu.Lock()
 	defer s.watcher.mu.Unlock()
-	all, who := map[uint64]logentry.Hash{}, map[uint64]string{}
+	hashes, reporters := map[uint64]logentry.Hash{}, map[uint64]string{}
 	for _, name := range slices.Sorted(maps.Keys(s.watcher.samples)) {
-		at := uint64(0)
-		for _, l := range s.watcher.samples[name] {
-			var h logentry.Hash
-			if l.Index == at || h.UnmarshalText([]byte(l.Hash)) != nil {
+		index := uint64(0)
+		for _, sample := range s.watcher.samples[name] {
+			var hash logentry.Hash
+			if sample.Index == index || hash.UnmarshalText([]byte(sample.Hash)) != nil {
 				continue
 			}
-			at = l.Index
-			if one, ok := all[at]; ok && one != h {
-				s.AddViolation("hash", fmt.Sprintf("at index %d %s has %.8s, %s has %.8x", at, name, l.Hash, who[at], one[:]))
+			index = sample.Index
+			if one, ok := hashes[index]; ok && one != hash {
+				s.violationf("hash", "at index %d %s has %.8s, %s has %.8x",
+					index, name, sample.Hash, reporters[index], one[:])
 				continue
 			}
-			all[at], who[at] = h, name
+			hashes[index], reporters[index] = hash, name
 		}
 	}
-	return all
+	return hashes
 }
 
-// ordered holds the history to the model, and returns the states of the order that was
-// found; nil where there is none.
-func (s *scenario) checkHistory(ops []*proposal) map[logentry.Hash]*logentry.State {
+// checkHistory checks the history against the model, and returns the states of the order that was
+// found; nil if there is none.
+func (s *scenario) checkHistory(proposals []*proposal) map[logentry.Hash]*logentry.State {
 	hashes := s.reportedHashes()
 	final, _ := s.watcher.latest(s.Names[0])
 	s.watcher.mu.Lock()
@@ -143,22 +161,23 @@
 		s.AddViolation("history", err.Error())
 		return nil
 	}
-	m, begun := newModel(first, ops, hashes), time.Now()
-	verdict := m.check(first, ops, hashes[final.Index], historyTimeout)
+	m, begun := newModel(first, proposals, hashes), time.Now()
+	verdict := m.check(first, proposals, hashes[final.Index], historyTimeout)
 	s.SetMetric("history_checked_ms", float64(time.Since(begun).Milliseconds()))
-	s.SetMetric("history_operations", float64(len(ops)))
+	s.SetMetric("history_operations", float64(len(proposals)))
 	switch verdict {
 	case porcupine.Ok:
 		return m.states
 	case porcupine.Illegal:
-		s.AddViolation("history", fmt.Sprintf("%d proposals fit no order that agrees with time, with versions and with what members hold at the end", len(ops)))
+		s.violationf("history", "%d proposals fit no order that agrees with time, with versions "+
+			"and with what members hold at the end", len(proposals))
 	default:
-		s.AddViolation("history", fmt.Sprintf("no order of %d proposals was found within %v", len(ops), historyTimeout))
+		s.violationf("history", "no order of %d proposals was found within %v", len(proposals), historyTimeout)
 	}
 	return nil
 }
 
-// same holds each state that a member showed to what the entries before it add up to.
+// checkStates checks each state that a member reported against what the entries before it result in.
 func (s *scenario) checkStates(states map[logentry.Hash]*logentry.State) {
 	s.watcher.mu.Lock()
 	defer s.watcher.mu.Unlock()
@@ -166,11 +185,12 @@
 		for _, one := range list {
 			want := states[one.state.Hash]
 			if want == nil {
-				s.AddViolation("log", fmt.Sprintf("%s at index %d: its chain is none of what was proposed", one.agent, index))
+				s.violationf("log", "%s at index %d: its hash chain is none of what was proposed", one.agent, index)
 				continue
 			}
 			if raw, err := json.Marshal(want); err != nil || sha256.Sum256(raw) != one.checksum {
-				s.AddViolation("log", fmt.Sprintf("%s at index %d holds what the entries do not add up to (%v)", one.agent, index, err))
+				s.violationf("log", "%s at index %d holds what the entries do not result in (%v)",
+					one.agent, index, err)
 			}
 		}
 	}
--- a/internal/scenario/accounts/history_model.go
+++ b/internal/scenario/accounts/history_model.go
@@ -10,46 +10,53 @@
 	"coralrelay/internal/fleet/logentry"
 )
 
-// model is what the record promises to those who propose: one order of all entries, which
-// agrees with time, in which each answer follows from the entries before it by the pure
-// code that all members share, every version compared. An entry at an index is that index's;
-// one that was refused before it was logged (index 0) sees the state of some moment while it
-// was asked, and changes nothing; one whose answer was lost has a place, or none.
+// model is the linearizability that the replicated log guarantees to proposers: one order of all
+// entries, which agrees with real time, in which each answer follows from the entries before it by
+// the pure code that all members share, every version compared. An entry with an index has that
+// place; one that was rejected before it was logged (index 0) sees the state of some moment of its
+// call, and changes nothing; one whose answer was lost has some place, or none.
 //
-// What members tell of their state is no part of it: a follower may be behind. Hashes that
-// they told pin the order down; how far behind they may be is judged apart.
+// What members report of their state is not part of it: a follower may be behind. The hashes that
+// they report pin the order down; how far behind they may be is checked separately.
 //
-// All that was logged is searched together with each author's refusals, one author after the
-// other: the refusals of all at once would be too many to try in every order. So two authors'
-// that are possible one by one but not together would not be seen.
+// All that was logged is searched together with the rejections of each author, one author after the
+// other: the rejections of all authors would be too many to try in every order. So rejections of two
+// authors that are possible one by one but not together are not noticed.
 type model struct {
-	answeredIndices map[uint64]bool          // indices of answers
-	hashes          map[uint64]logentry.Hash // as members told
+	answeredIndices map[uint64]bool
+	hashes          map[uint64]logentry.Hash // as members reported
 
-	mu      sync.Mutex // authors are searched side by side
+	mu      sync.Mutex // authors are searched in parallel
 	applied map[transition]applyResult
-	states  map[logentry.Hash]*logentry.State // all that the search came by
+	states  map[logentry.Hash]*logentry.State // all that the search visited
 }
 
+// transition is that a proposal is applied to the state of a hash.
 type transition struct {
-	at       logentry.Hash
+	from     logentry.Hash
 	proposal *proposal
 }
 
+// applyResult is what a transition results in.
 type applyResult struct {
 	next    *logentry.State
 	outcome logentry.Outcome
 }
 
-// place is a state, and whether the history is over: then what has no place yet has none.
+// modelState is a state, and whether the history is finished: then what has no place yet has none.
 type modelState struct {
 	*logentry.State
 	isFinished bool
 }
 
-func newModel(first *logentry.State, ops []*proposal, hashes map[uint64]logentry.Hash) *model {
-	m := &model{answeredIndices: map[uint64]bool{}, hashes: hashes, applied: map[transition]applyResult{}, states: map[logentry.Hash]*logentry.State{first.Hash: first}}
-	for _, o := range ops {
+func newModel(first *logentry.State, proposals []*proposal, hashes map[uint64]logentry.Hash) *model {
+	m := &model{
+		answeredIndices: map[uint64]bool{},
+		hashes:          hashes,
+		applied:         map[transition]applyResult{},
+		states:          map[logentry.Hash]*logentry.State{first.Hash: first},
+	}
+	for _, o := range proposals {
 		if o.status == outcomeKnown && o.outcome.Index > 0 {
 			m.answeredIndices[o.outcome.Index] = true
 		}
@@ -57,21 +64,21 @@
 	return m
 }
 
-// apply is what an entry makes of a state.
+// apply applies a proposal to a state.
 func (m *model) apply(s *logentry.State, o *proposal) applyResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	k := transition{s.Hash, o}
-	a, ok := m.applied[k]
+	t := transition{s.Hash, o}
+	result, ok := m.applied[t]
 	if !ok {
-		a.next, a.outcome = s.Apply(o.raw)
-		m.applied[k], m.states[a.next.Hash] = a, a.next
+		result.next, result.outcome = s.Apply(o.raw)
+		m.applied[t], m.states[result.next.Hash] = result, result.next
 	}
-	return a
+	return result
 }
 
-// step tells whether an operation can come at a place, and the place after it. A nil
-// operation is the end, where last is what all members hold.
+// step reports whether a proposal can come at a state, and returns the state after it. A nil
+// proposal is the end, where last is what all members hold.
 func (m *model) step(at modelState, o *proposal, last logentry.Hash) (bool, modelState) {
 	if o == nil {
 		return at.Hash == last, modelState{at.State, true}
@@ -79,35 +86,42 @@
 	switch {
 	case at.isFinished:
 		return o.status == outcomeUnknown, at
-	case o.status == outcomeUnknown && (m.answeredIndices[at.Index+1] || at.Hash == last), o.status == outcomeKnown && o.outcome.Index > 0 && o.outcome.Index != at.Index+1:
+	case o.status == outcomeUnknown && (m.answeredIndices[at.Index+1] || at.Hash == last):
+		return false, at
+	case o.status == outcomeKnown && o.outcome.Index > 0 && o.outcome.Index != at.Index+1:
 		return false, at
 	}
-	a := m.apply(at.State, o)
+	result := m.apply(at.State, o)
 	if o.status == outcomeKnown && o.outcome.Index == 0 {
-		return !a.outcome.Accepted && a.outcome.Reason == o.outcome.Reason, at
+		return !result.outcome.Accepted && result.outcome.Reason == o.outcome.Reason, at
+	}
+	if hash, ok := m.hashes[result.next.Index]; ok && hash != result.next.Hash {
+		return false, at
 	}
-	if h, ok := m.hashes[a.next.Index]; ok && h != a.next.Hash || o.status == outcomeKnown && a.outcome != o.outcome {
+	if o.status == outcomeKnown && result.outcome != o.outcome {
 		return false, at
 	}
-	return true, modelState{a.next, false}
+	return true, modelState{result.next, false}
 }
 
-// check searches for an order, for so long at most. Last is what all members hold at the end.
-func (m *model) check(first *logentry.State, ops []*proposal, last logentry.Hash, most time.Duration) porcupine.CheckResult {
+// check searches for an order until the timeout. last is what all members hold at the end.
+func (m *model) check(
+	first *logentry.State, proposals []*proposal, last logentry.Hash, timeout time.Duration,
+) porcupine.CheckResult {
 	var end int64
 	var all []porcupine.Operation
-	for _, o := range ops {
+	for _, o := range proposals {
 		end = max(end, o.returnedAt.UnixNano()+1)
 	}
-	for _, o := range ops {
+	for _, o := range proposals {
 		if o.status == notProposed {
-			continue // in the log it would leave a place that nothing fills
+			continue // as part of the log it would leave a place that nothing fills
 		}
-		ret := o.returnedAt.UnixNano()
+		returnedAt := o.returnedAt.UnixNano()
 		if o.status == outcomeUnknown {
-			ret = end + 2
+			returnedAt = end + 2
 		}
-		all = append(all, porcupine.Operation{Input: o, Call: o.calledAt.UnixNano(), Return: ret})
+		all = append(all, porcupine.Operation{Input: o, Call: o.calledAt.UnixNano(), Return: returnedAt})
 	}
 	all = append(all, porcupine.Operation{Input: (*proposal)(nil), Call: end, Return: end + 1})
 	return porcupine.CheckOperationsTimeout(porcupine.Model{
@@ -118,22 +132,23 @@
 			return a.(modelState).Hash == b.(modelState).Hash && a.(modelState).isFinished == b.(modelState).isFinished
 		},
 		Hash: func(state any) uint64 { h := state.(modelState).Hash; return binary.BigEndian.Uint64(h[:]) },
-	}, all, most)
+	}, all, timeout)
 }
 
-// byAuthor is all that was logged, or may have been, with each author's refusals.
+// partitionByAuthor returns all that was logged, or may have been: with no rejections, and with those
+// of each author.
 func partitionByAuthor(all []porcupine.Operation) (parts [][]porcupine.Operation) {
 	var logged []porcupine.Operation
-	refused := map[string][]porcupine.Operation{}
+	rejected := map[string][]porcupine.Operation{}
 	for _, p := range all {
 		if o := p.Input.(*proposal); o != nil && o.status == outcomeKnown && o.outcome.Index == 0 {
-			refused[o.entry.KeyName] = append(refused[o.entry.KeyName], p)
+			rejected[o.entry.KeyName] = append(rejected[o.entry.KeyName], p)
 		} else {
 			logged = append(logged, p)
 		}
 	}
 	parts = append(parts, logged)
-	for _, list := range refused {
+	for _, list := range rejected {
 		parts = append(parts, append(list, logged...))
 	}
 	return parts
--- a/internal/scenario/accounts/phases.go
+++ b/internal/scenario/accounts/phases.go
@@ -4,81 +4,53 @@
 	"context"
 	"fmt"
 	mrand "math/rand/v2"
-	"slices"
 	"time"
 
 	"coralrelay/internal/fake"
-	"coralrelay/internal/fleet/account"
-	"coralrelay/internal/scenario/faultproxy"
 	"coralrelay/internal/scenario/testbed"
 )
 
-// cut is what befalls a link that is broken.
-var linkCut = faultproxy.Fault{Cut: true}
-
-// spoiled notes that something befalls an agent, until mended, which comes just before it
-// is undone.
-func (s *scenario) beginFault(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faultPeriods[name] = append(s.faultPeriods[name], period{from: time.Now()})
-}
-
-func (s *scenario) endFault(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faultPeriods[name][len(s.faultPeriods[name])-1].until = time.Now()
-}
-
-// head names the leader, which must be known, and notes that it is lost from now on.
-func (s *scenario) leaderToLose(ctx context.Context) (string, error) {
-	name := ""
-	if _, ok := testbed.Await(ctx, maxLeaderGap, func() bool { name = s.watcher.leader(); return name != "" }); !ok && ctx.Err() == nil {
-		return "", fmt.Errorf("no leader: %s", s.watcher.describe())
-	}
-	s.beginFault(name)
-	s.mu.Lock()
-	s.leaderLostAt = append(s.leaderLostAt, time.Now())
-	s.mu.Unlock()
-	s.AddMetric("leaders_lost", 1)
-	return name, ctx.Err()
-}
-
-// other draws an agent that is none of some, of the voters or of the others.
-func (s *scenario) randomAgent(rng *mrand.Rand, votes bool, but ...string) string {
-	all := s.Names[s.Voters:]
-	if votes {
-		all = s.Names[:s.Voters]
-	}
-	for {
-		if name := all[rng.IntN(len(all))]; !slices.Contains(but, name) {
-			return name
-		}
+// phases returns the phases in order.
+func (s *scenario) phases() []testbed.Phase {
+	return []testbed.Phase{
+		{Name: "meet", Run: s.waitUntilReady},
+		{Name: "calm", Run: s.noFault},
+		{Name: "leader", Run: s.killedLeader},
+		{Name: "oneway", Run: s.oneWayPartition},
+		{Name: "apart", Run: s.isolatedMembers},
+		{Name: "disk", Run: s.fullDisk},
+		{Name: "stall", Run: s.pausedAgents},
+		{Name: "many", Run: s.manyFaults},
 	}
 }
 
-func (s *scenario) allExcept(but string) []string {
-	return slices.DeleteFunc(slices.Clone(s.Names), func(name string) bool { return name == but })
+// waitUntilReady lets members find each other and agree on a leader, creates the tree, and starts the
+// writers.
+func (s *scenario) waitUntilReady(ctx context.Context, _ *mrand.Rand) error {
+	_, hasConverged := testbed.Await(ctx, 15*time.Second, func() bool { return s.watcher.hasConverged(s.Names) })
+	if !hasConverged && ctx.Err() == nil {
+		return fmt.Errorf("members did not meet: %s", s.watcher.describe())
+	}
+	if err := s.createTree(ctx); err != nil {
+		return err
+	}
+	writerCtx, stop := context.WithCancel(ctx)
+	s.stopWriters = stop
+	const firstStream = 100 // of random numbers, of the scenario's seed
+	for i, w := range s.tree.writers() {
+		w.scenario, w.rng = s, mrand.New(mrand.NewPCG(s.Options.Seed, uint64(firstStream+i)))
+		s.writers.Go(func() { w.run(writerCtx) })
+	}
+	return nil
 }
 
-// back waits until an agent follows again, and has its vote if it had one.
-func (s *scenario) waitForRejoin(ctx context.Context, step, name string) {
-	most := rejoinTimeout
-	if s.Metric("not_back") > 0 { // it is broken already, and the verdict can come
-		most = time.Second
-	}
-	took, came := testbed.Await(ctx, most, func() bool {
-		l, up := s.watcher.latest(name)
-		return up && l.WithinLease && (l.Role == "follower" || l.Role == "voter" || l.Role == "leader")
-	})
-	s.SetMetric(step+"_back_ms", max(s.Metric(step+"_back_ms"), float64(took.Milliseconds())))
-	if !came && ctx.Err() == nil {
-		s.AddMetric("not_back", 1)
-		s.AddViolation("back", fmt.Sprintf("%s: %s does not follow again after %v: %s", step, name, most, s.watcher.describe()))
-	}
+// noFault has the writers write without a fault.
+func (s *scenario) noFault(ctx context.Context, _ *mrand.Rand) error {
+	fake.Sleep(ctx, 2*time.Second)
+	return nil
 }
 
-// leader kills the leader's agent, twice, and starts it again.
+// killedLeader kills the leader's agent, twice, and starts it again.
 func (s *scenario) killedLeader(ctx context.Context, _ *mrand.Rand) error {
 	for range 2 {
 		name, err := s.leaderToLose(ctx)
@@ -96,7 +68,7 @@
 	return nil
 }
 
-// oneWay cuts one direction: what the leader says to another voter, then all that is said
+// oneWayPartition cuts one direction: what the leader sends to another voter, then all that is sent
 // to the leader, which must not go on leading.
 func (s *scenario) oneWayPartition(ctx context.Context, rng *mrand.Rand) error {
 	name := s.watcher.leader()
@@ -119,15 +91,18 @@
 	return nil
 }
 
-// apart cuts off a follower for longer than the lease, and the leader, while changes are
-// brought to it that it can't have committed.
+// isolatedMembers cuts off a follower for longer than the lease, and then the leader, while changes
+// are proposed to it that it can't commit.
 func (s *scenario) isolatedMembers(ctx context.Context, rng *mrand.Rand) error {
+	const beyondLease = leaseTimeout + 1200*time.Millisecond
 	lone := s.randomAgent(rng, false)
 	s.beginFault(lone)
 	s.Proxy.SetBetween([]string{lone}, s.allExcept(lone), linkCut)
-	fake.Sleep(ctx, leaseTimeout+1200*time.Millisecond)
-	if l, up := s.watcher.latest(lone); up && l.WithinLease && l.State.Index < s.committedBefore(time.Now().Add(-leaseTimeout-200*time.Millisecond)) {
-		s.AddViolation("fresh", fmt.Sprintf("%s says that its word is fresh, %v after it was cut off", lone, leaseTimeout+1200*time.Millisecond))
+	fake.Sleep(ctx, beyondLease)
+	last, isUp := s.watcher.latest(lone)
+	committed := s.committedBefore(time.Now().Add(-leaseTimeout - 200*time.Millisecond))
+	if isUp && last.WithinLease && last.State.Index < committed {
+		s.violationf("fresh", "%s reports that it is within its lease, %v after it was cut off", lone, beyondLease)
 	}
 	s.endFault(lone)
 	s.Proxy.Heal()
@@ -141,7 +116,8 @@
 		base, _ := s.watcher.tree(name)
 		w := &writer{team: t, rng: rng}
 		s.writers.Go(func() {
-			s.propose(t.key, name, account.Change{BaseVersion: base.Version, Ops: []account.Op{w.putRouteOp(t.path, fmt.Sprintf("lone%d", i))}}, "cut-off", "")
+			put := w.putRouteOp(t.path, fmt.Sprintf("lone%d", i))
+			s.propose(t.key, name, changeOn(base, put), "cut-off", "")
 		})
 	}
 	fake.Sleep(ctx, 2*time.Second)
@@ -151,7 +127,7 @@
 	return nil
 }
 
-// disk has the leader's disk fill up, and be freed.
+// fullDisk fills the leader's disk, and frees it.
 func (s *scenario) fullDisk(ctx context.Context, _ *mrand.Rand) error {
 	name, err := s.leaderToLose(ctx)
 	if err != nil {
@@ -162,7 +138,7 @@
 	}
 	fake.Sleep(ctx, 2500*time.Millisecond)
 	if l, up := s.watcher.latest(name); !up || l.DiskError == "" || l.Role == "leader" {
-		s.AddViolation("disk", fmt.Sprintf("%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.DiskError))
+		s.violationf("disk", "%s with a full disk: up %v, role %s, disk %q", name, up, l.Role, l.DiskError)
 	}
 	s.endFault(name)
 	if err := s.Agents[name].SetDiskFull(false); err != nil {
@@ -172,11 +148,11 @@
 	return nil
 }
 
-// stall stops a follower, then the leader, and has them go on as if nothing had been.
+// pausedAgents pauses a follower, then the leader, and resumes them.
 func (s *scenario) pausedAgents(ctx context.Context, rng *mrand.Rand) error {
-	for _, follows := range [2]bool{true, false} {
+	for _, isFollower := range [...]bool{true, false} {
 		name := s.randomAgent(rng, false)
-		if follows {
+		if isFollower {
 			s.beginFault(name)
 		} else if lead, err := s.leaderToLose(ctx); err != nil {
 			return err
@@ -192,8 +168,8 @@
 	return nil
 }
 
-// many has several things go wrong at once: the leader is killed, a follower is cut off one
-// way, and another stalls.
+// manyFaults has several faults at once: the leader is killed, a follower is cut off one way, and
+// another is paused.
 func (s *scenario) manyFaults(ctx context.Context, rng *mrand.Rand) error {
 	deaf := s.randomAgent(rng, false)
 	slow := s.randomAgent(rng, false, deaf)
--- a/internal/scenario/accounts/tree.go
+++ b/internal/scenario/accounts/tree.go
@@ -11,7 +11,7 @@
 	"coralrelay/internal/fleet/account"
 )
 
-// key signs changes.
+// key is a private key that signs changes.
 type key ed25519.PrivateKey
 
 func newKey() (key, error) {
@@ -31,7 +31,7 @@
 	children []*team // in the tree's order
 }
 
-// tree is what is founded: accounts, teams, and teams of teams.
+// tree is what is created at first: accounts, teams, and teams of teams.
 type tree struct {
 	root   key
 	admins []*team // of the accounts
@@ -40,34 +40,34 @@
 
 const (
 	teamsOfAccount = 6
-	teamsOfTeam    = 2 // of the teams on the first level, one after another
+	teamsOfTeam    = 2 // of the teams on the first level
 )
 
-// newTree names accounts and teams and makes their keys.
+// newTree names accounts and teams and generates their keys.
 func newTree(teams int) (*tree, error) {
 	var errs []error
-	fresh := func() key {
+	generate := func() key {
 		k, err := newKey()
 		errs = append(errs, err)
 		return k
 	}
-	t := &tree{root: fresh()}
+	t := &tree{root: generate()}
 	for i := range teams {
 		if i%teamsOfAccount == 0 {
-			t.admins = append(t.admins, &team{key: fresh(), path: fmt.Sprintf("acc%d", len(t.admins))})
+			t.admins = append(t.admins, &team{key: generate(), path: fmt.Sprintf("acc%d", len(t.admins))})
 		}
-		above := t.admins[len(t.admins)-1]
-		if n := len(above.children); n > 0 && len(above.children[n-1].children) < teamsOfTeam {
-			above = above.children[n-1]
+		parent := t.admins[len(t.admins)-1]
+		if n := len(parent.children); n > 0 && len(parent.children[n-1].children) < teamsOfTeam {
+			parent = parent.children[n-1]
 		}
-		one := &team{key: fresh(), path: fmt.Sprintf("%s/t%d", above.path, i), parent: above}
-		above.children = append(above.children, one)
+		one := &team{key: generate(), path: fmt.Sprintf("%s/t%d", parent.path, i), parent: parent}
+		parent.children = append(parent.children, one)
 		t.teams = append(t.teams, one)
 	}
 	return t, errors.Join(errs...)
 }
 
-// level is 0 for an account.
+// level is the depth in the tree, 0 for an account.
 func (t *team) level() int {
 	if t.parent == nil {
 		return 0
@@ -75,58 +75,65 @@
 	return t.parent.level() + 1
 }
 
-// node is what a team has at first: its children together hold a little less than it has.
+// initialNode is what a team has at first: its children together hold a little less than it has.
 func (t *team) initialNode() *account.Node {
-	l := [3]account.Limits{
+	limits := [...]account.Limits{
 		{Connections: 3000, SetupRate: 300, RetryRate: 60, ProbeRate: 60, Routes: 200, Teams: 60},
 		{Connections: 1000, SetupRate: 100, RetryRate: 20, ProbeRate: 20, Routes: 60, Teams: 10},
 		{Connections: 300, SetupRate: 30, RetryRate: 6, ProbeRate: 6, Routes: 20, Teams: 2},
 	}[t.level()]
-	return &account.Node{Limits: l, Priority: len(t.path) % 3}
+	return &account.Node{Limits: limits, Priority: len(t.path) % 3}
 }
 
-// grant is what is given to a team's key, by the key above: each level can hand on less deep.
+// initialGrantOp grants a team's key all permissions, signed by the parent's key: the deeper the
+// level, the less often the grant can be delegated.
 func (t *team) initialGrantOp() account.Op {
-	return createGrantOp(t.key, t.path, 4-t.level(), account.PermissionRoutes, account.PermissionLimits, account.PermissionTeams, account.PermissionGrants)
+	return createGrantOp(t.key, t.path, 4-t.level(),
+		account.PermissionRoutes, account.PermissionLimits, account.PermissionTeams, account.PermissionGrants)
 }
 
-func createGrantOp(k key, path string, depth int, acts ...string) account.Op {
-	return account.Op{Kind: account.CreateGrant, Path: path, Grant: &account.Grant{Key: k.name(), PublicKey: k.public(), Path: path, Permissions: acts, DelegationDepth: depth}}
+func createGrantOp(k key, path string, depth int, permissions ...string) account.Op {
+	grant := &account.Grant{
+		Key: k.name(), PublicKey: k.public(), Path: path, Permissions: permissions, DelegationDepth: depth,
+	}
+	return account.Op{Kind: account.CreateGrant, Path: path, Grant: grant}
 }
 
-// found brings the tree into the record, each level by the key above it.
+// createTree creates the tree in the replicated log, each level signed by the parent's key.
 func (s *scenario) createTree(ctx context.Context) error {
 	for _, a := range s.tree.admins {
-		if err := s.proposeUntilAccepted(ctx, s.tree.root, account.Op{Kind: account.CreateAccount, Path: a.path, Node: a.initialNode()}, a.initialGrantOp()); err != nil {
+		create := account.Op{Kind: account.CreateAccount, Path: a.path, Node: a.initialNode()}
+		if err := s.proposeUntilAccepted(ctx, s.tree.root, create, a.initialGrantOp()); err != nil {
 			return err
 		}
 	}
 	for _, t := range s.tree.teams {
-		if err := s.proposeUntilAccepted(ctx, t.parent.key, account.Op{Kind: account.CreateTeam, Path: t.path, Node: t.initialNode()}, t.initialGrantOp()); err != nil {
+		create := account.Op{Kind: account.CreateTeam, Path: t.path, Node: t.initialNode()}
+		if err := s.proposeUntilAccepted(ctx, t.parent.key, create, t.initialGrantOp()); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// must proposes until a change is taken.
+// proposeUntilAccepted proposes a change until it is accepted.
 func (s *scenario) proposeUntilAccepted(ctx context.Context, k key, ops ...account.Op) error {
 	var o *proposal
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; {
-		to := s.Names[len(ops)%len(s.Names)]
-		base, _ := s.watcher.tree(to)
-		if o = s.propose(k, to, account.Change{BaseVersion: base.Version, Ops: ops}, "found", ""); o.isAccepted() {
-			s.watcher.waitForIndex(ctx, to, o.outcome.Index)
+		agent := s.Names[len(ops)%len(s.Names)]
+		base, _ := s.watcher.tree(agent)
+		if o = s.propose(k, agent, changeOn(base, ops...), "found", ""); o.isAccepted() {
+			s.watcher.waitForIndex(ctx, agent, o.outcome.Index)
 			return nil
 		}
 		if !fake.Sleep(ctx, pollInterval) {
 			return ctx.Err()
 		}
 	}
-	return fmt.Errorf("%q was not founded: %+v %s", ops[0].Path, o.outcome, o.failure)
+	return fmt.Errorf("%q was not created: %+v %s", ops[0].Path, o.outcome, o.failure)
 }
 
-// writers is one for each team and for each account's administrator.
+// writers returns a writer for each team and for each account's administrator.
 func (t *tree) writers() (all []*writer) {
 	for _, list := range [2][]*team{t.admins, t.teams} {
 		for _, one := range list {
--- a/internal/scenario/accounts/watcher.go
+++ b/internal/scenario/accounts/watcher.go
@@ -18,13 +18,13 @@
 	"coralrelay/internal/scenario/testbed"
 )
 
-// look is an agent's answer to the ask "state", asked and answered at two times.
+// stateSample is an agent's answer to the call "state".
 type stateSample struct {
 	askedAt, answeredAt time.Time
 	agentapi.State
 }
 
-// sight is what a member holds at an index.
+// treeSample is what a member holds at an index.
 type treeSample struct {
 	agent     string
 	state     *logentry.State
@@ -32,7 +32,7 @@
 	sampledAt time.Time
 }
 
-// watchers ask all agents all the time.
+// watcher polls all agents.
 type watcher struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -40,13 +40,19 @@
 	mu        sync.Mutex
 	samples   map[string][]stateSample // by agent, in order
 	lastTrees map[string]*logentry.State
-	isUp      map[string]bool          // it answered when it was last asked
-	trees     map[uint64][]*treeSample // by index, of different sums only
+	isUp      map[string]bool          // it answered the last call
+	trees     map[uint64][]*treeSample // by index, those with different checksums
 }
 
 func newWatcher(agents map[string]*testbed.Agent) *watcher {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watcher{cancel: cancel, samples: map[string][]stateSample{}, lastTrees: map[string]*logentry.State{}, isUp: map[string]bool{}, trees: map[uint64][]*treeSample{}}
+	w := &watcher{
+		cancel:    cancel,
+		samples:   map[string][]stateSample{},
+		lastTrees: map[string]*logentry.State{},
+		isUp:      map[string]bool{},
+		trees:     map[uint64][]*treeSample{},
+	}
 	for name, a := range agents {
 		w.wg.Go(func() {
 			for w.poll(name, a); fake.Sleep(ctx, pollInterval); {
@@ -57,51 +63,55 @@
 	return w
 }
 
+// close ends the polls.
 func (w *watcher) close() {
 	w.cancel()
 	w.wg.Wait()
 }
 
-// look asks one agent how it stands, and what it holds where that is news.
+// poll asks one agent for its state, and for its tree if that is at another index.
 func (w *watcher) poll(name string, a *testbed.Agent) {
-	l := stateSample{askedAt: time.Now()}
-	err := a.Call(agentapi.OperatorRequest{Method: "state"}, &l.State)
-	l.answeredAt = time.Now()
+	sample := stateSample{askedAt: time.Now()}
+	err := a.Call(agentapi.OperatorRequest{Method: "state"}, &sample.State)
+	sample.answeredAt = time.Now()
 	w.mu.Lock()
 	w.isUp[name] = err == nil
 	if err == nil {
-		w.samples[name] = append(w.samples[name], l)
+		w.samples[name] = append(w.samples[name], sample)
 	}
-	news := err == nil && (w.lastTrees[name] == nil || w.lastTrees[name].Index != l.Index)
+	isNew := err == nil && (w.lastTrees[name] == nil || w.lastTrees[name].Index != sample.Index)
 	w.mu.Unlock()
-	if !news {
+	if !isNew {
 		return
 	}
 	var raw json.RawMessage
 	state := &logentry.State{}
 	if a.Call(agentapi.OperatorRequest{Method: "record"}, &raw) != nil || json.Unmarshal(raw, state) != nil {
-		return // it has just gone
+		return // it has just stopped
 	}
-	s := &treeSample{name, state, sha256.Sum256(raw), time.Now()}
+	tree := &treeSample{name, state, sha256.Sum256(raw), time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastTrees[name] = state
-	if !slices.ContainsFunc(w.trees[state.Index], func(o *treeSample) bool { return o.checksum == s.checksum }) {
-		w.trees[state.Index] = append(w.trees[state.Index], s)
+	isKnown := slices.ContainsFunc(w.trees[state.Index], func(o *treeSample) bool {
+		return o.checksum == tree.checksum
+	})
+	if !isKnown {
+		w.trees[state.Index] = append(w.trees[state.Index], tree)
 	}
 }
 
-// now is how an agent stood when it was last asked, if it answered.
-func (w *watcher) latest(name string) (l stateSample, ok bool) {
+// latest returns the last state of an agent, and whether it answered the last call.
+func (w *watcher) latest(name string) (sample stateSample, isUp bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if n := len(w.samples[name]); n > 0 {
-		l = w.samples[name][n-1]
+		sample = w.samples[name][n-1]
 	}
-	return l, w.isUp[name]
+	return sample, w.isUp[name]
 }
 
-// tree is what an agent held when it was last asked, and at which index.
+// tree returns the tree that an agent last had, and its index.
 func (w *watcher) tree(name string) (account.State, uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -111,24 +121,29 @@
 	return account.State{}, 0
 }
 
-// await waits until an agent is seen to hold an entry.
+// waitForIndex waits until an agent has an entry. It returns false if that took more than a second.
 func (w *watcher) waitForIndex(ctx context.Context, name string, index uint64) bool {
-	return testbed.AfterIndex(ctx, func() uint64 { _, at := w.tree(name); return at }, index, time.Second, func() {})
+	currentIndex := func() uint64 {
+		_, at := w.tree(name)
+		return at
+	}
+	return testbed.AfterIndex(ctx, currentIndex, index, time.Second, func() {})
 }
 
-// leader is who leads the record and says so itself; empty for nobody.
+// leader returns the member that reports to be the leader; empty for none.
 func (w *watcher) leader() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(w.samples)) {
-		if l := w.samples[name][len(w.samples[name])-1]; w.isUp[name] && l.Role == "leader" && l.WithinLease {
+		last := w.samples[name][len(w.samples[name])-1]
+		if w.isUp[name] && last.Role == "leader" && last.WithinLease {
 			return name
 		}
 	}
 	return ""
 }
 
-// asOne tells whether all of some members answer, hear the record and hold the same.
+// hasConverged reports whether members all answer, are within their lease and hold the same.
 func (w *watcher) hasConverged(names []string) bool {
 	first, _ := w.latest(names[0])
 	for _, name := range names {
@@ -140,7 +155,7 @@
 	return w.leader() != ""
 }
 
-// read tells whether of all of some members the tree is known at the index they are at.
+// hasCurrentTrees reports whether the trees of members are known at their present index.
 func (w *watcher) hasCurrentTrees(names []string) bool {
 	for _, name := range names {
 		l, _ := w.latest(name)
@@ -151,7 +166,7 @@
 	return true
 }
 
-// say tells people how all agents stand.
+// describe returns the last states of all agents, for people.
 func (w *watcher) describe() string {
 	var b strings.Builder
 	w.mu.Lock()
@@ -159,7 +174,8 @@
 	w.mu.Unlock()
 	for _, name := range names {
 		l, up := w.latest(name)
-		fmt.Fprintf(&b, "%s up %v index %d hash %.8s role %s leader %q fresh %v disk %q; ", name, up, l.Index, l.Hash, l.Role, l.Leader, l.WithinLease, l.DiskError)
+		fmt.Fprintf(&b, "%s up %v index %d hash %.8s role %s leader %q within lease %v disk %q; ",
+			name, up, l.Index, l.Hash, l.Role, l.Leader, l.WithinLease, l.DiskError)
 	}
 	return b.String()
 }
