--- a/internal/refmodel/restart_drain_test.go
+++ b/internal/refmodel/graceful_restart_test.go
@@ -18,26 +18,26 @@
 	"coralrelay/internal/upstream"
 )
 
-// answerAfter is how long next hops take to answer a line; what hangs answers none.
-var answerAfter = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
+// answerDelays is how long the endpoint of each name takes to answer a line; hung never does.
+var answerDelays = map[string]time.Duration{"prompt": ms, "late": 600 * ms, "later": 1300 * ms, "hung": time.Hour}
 
-// restarted is a node on pipes whose next hops answer each in its own time.
-type restarted struct {
-	talk  *talk
-	parts sync.WaitGroup
+// restartTest is a node on pipes whose endpoints answer with different delays.
+type restartTest struct {
+	transcript *transcript
+	goroutines sync.WaitGroup
 }
 
-// hop serves one connection of a next hop.
-func (r *restarted) hop(how string, conn net.Conn) {
+// serveUpstream serves one connection of an endpoint.
+func (r *restartTest) serveUpstream(how string, conn net.Conn) {
 	defer conn.Close()
-	id, said := "", 0
-	var out sync.Mutex
-	say := func() { // by itself or as an answer: one line at a time, numbered
-		out.Lock()
-		defer out.Unlock()
-		if _, err := fmt.Fprintf(conn, "line %d\r\n", said+1); err == nil {
-			said++
-			r.talk.says(id, "down", said)
+	id, sent := "", 0
+	var writing sync.Mutex
+	send := func() { // one numbered line at a time
+		writing.Lock()
+		defer writing.Unlock()
+		if _, err := fmt.Fprintf(conn, "line %d\r\n", sent+1); err == nil {
+			sent++
+			r.transcript.recordSent(id, "down", sent)
 		}
 	}
 	for lines := bufio.NewScanner(conn); lines.Scan(); {
@@ -50,32 +50,32 @@
 			fmt.Fprint(conn, "UP r1\r\n")
 		default:
 			_, _ = fmt.Sscanf(rest, "%d", &n)
-			r.talk.hears(id, "up", n)
+			r.transcript.recordReceived(id, "up", n)
 			if how != "hung" {
-				r.parts.Go(func() {
-					time.Sleep(answerAfter[how])
-					say()
+				r.goroutines.Go(func() {
+					time.Sleep(answerDelays[how])
+					send()
 				})
 			}
 		}
 	}
 }
 
-// client opens a connection and sends on it, answered or not, for as long as it stands.
-func (r *restarted) client(id string, conn net.Conn) {
+// runClient opens a connection and sends on it, answered or not, for as long as it is open.
+func (r *restartTest) runClient(id string, conn net.Conn) {
 	defer conn.Close()
 	fmt.Fprintf(conn, "OPEN %s k%s c=feed,d=1000\r\n", id, id)
 	lines := bufio.NewScanner(conn)
 	if !lines.Scan() || lines.Text() != "UP r1" {
-		return // it never stood, and is found to have had no MOVE
+		return // never established: it is reported as having had no MOVE
 	}
 	moved := make(chan struct{})
-	r.parts.Go(func() {
+	r.goroutines.Go(func() {
 		for n := 1; ; n++ {
 			if _, err := fmt.Fprintf(conn, "line %d\r\n", n); err != nil {
 				return
 			}
-			r.talk.says(id, "up", n)
+			r.transcript.recordSent(id, "up", n)
 			select {
 			case <-moved:
 				return
@@ -86,72 +86,77 @@
 	for lines.Scan() {
 		n := 0
 		if lines.Text() == "MOVE" {
-			r.talk.note(r.talk.moved, id)
+			r.transcript.recordTime(r.transcript.movedAt, id)
 			close(moved)
-			time.Sleep(30 * ms) // what else it has sent is read meanwhile
+			time.Sleep(30 * ms) // what it has sent before is read meanwhile
 			return
 		}
 		_, _ = fmt.Sscanf(lines.Text(), "line %d", &n)
-		r.talk.hears(id, "down", n)
+		r.transcript.recordReceived(id, "down", n)
 	}
-	r.talk.note(r.talk.ended, id)
+	r.transcript.recordTime(r.transcript.endedAt, id)
 }
 
-// A planned restart while clients go on sending: until a connection is told to MOVE it has
-// all its lines, both ways, also where its next hop answers late; and none ends without
-// MOVE, also where it does not answer at all.
-func TestRestartLosesNothing(t *testing.T) {
+// A graceful restart while clients go on sending: until a connection is sent MOVE it loses no line
+// in either direction, also where its endpoint answers late; and none ends without MOVE, also where
+// its endpoint never answers.
+func TestGracefulRestartLosesNoLines(t *testing.T) {
 	for _, longest := range []time.Duration{1200 * ms, 3 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				r := &restarted{talk: newTalk()}
-				door := listener{make(chan net.Conn), make(chan struct{})}
-				hops := upstream.New(ctx, upstream.Limits{ConnectTimeout: connect, ProbeTimeout: 500 * ms, DrainGrace: 300 * ms})
+				r := &restartTest{transcript: newTranscript()}
+				door := pipeListener{make(chan net.Conn), make(chan struct{})}
+				hops := upstream.New(ctx, poolLimits)
 				hops.Dial = func(_ context.Context, addr string, _ time.Time) (net.Conn, error) {
 					near, far := net.Pipe()
-					r.parts.Go(func() { r.hop(addr, far) })
+					r.goroutines.Go(func() { r.serveUpstream(addr, far) })
 					return near, nil
 				}
-				set := asked(1)
+				set := pollSettings(1)
 				set.LoadReporting.InProbeResults, set.Limits.ProbesAllowed = true, true
-				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noRoster{})
+				core, err := dispatch.New(dispatch.NewClock(), 1, set, hops, noDiscovery{})
 				if err != nil {
 					t.Fatal(err)
 				}
 				hops.SetObserver(core)
 				server := downstream.New(core, hops, downstream.Limits{Sockets: 1000})
-				r.parts.Go(func() { core.Run(ctx) })
+				r.goroutines.Go(func() { core.Run(ctx) })
 				u := discovery.Update{Kind: balance.ListFull}
-				for how := range answerAfter {
+				for how := range answerDelays {
 					u.Endpoints = append(u.Endpoints, discovery.Endpoint{Addr: how, ServerEntry: balance.ServerEntry{ID: how}})
 				}
 				hops.Update(true, u.Endpoints, time.Now())
 				core.UpdateEndpoints(u.ListUpdate())
-				r.parts.Go(func() { _ = server.Serve(door) })
-				var callers []string
+				r.goroutines.Go(func() { _ = server.Serve(door) })
+				var clients []string
 				for i := range 60 {
 					id := fmt.Sprint("c", i)
-					callers = append(callers, id)
+					clients = append(clients, id)
 					near, far := net.Pipe()
 					door.conns <- near
-					r.parts.Go(func() { r.client(id, far) })
+					r.goroutines.Go(func() { r.runClient(id, far) })
 					time.Sleep(10 * ms)
 				}
 				begun := time.Now() // as SIGTERM does it
-				server.Drain(downstream.DrainPlan{RejectAt: begun, MoveStartAt: begun.Add(longest / 2), MoveEndAt: begun.Add(longest + 200*ms), EndAt: begun.Add(longest + 400*ms)})
+				server.Drain(downstream.DrainPlan{
+					RejectAt:    begun,
+					MoveStartAt: begun.Add(longest / 2),
+					MoveEndAt:   begun.Add(longest + 200*ms),
+					EndAt:       begun.Add(longest + 400*ms),
+				})
 				if took := time.Since(begun); took > longest+400*ms || server.OpenSessions() > 0 {
 					t.Errorf("it took %v, %d connections are left", took, server.OpenSessions())
 				}
 				_ = door.Close()
 				server.Close()
 				cancel()
-				r.parts.Wait()
-				for _, wrong := range r.talk.broken(callers) {
+				r.goroutines.Wait()
+				for _, wrong := range r.transcript.findLosses(clients) {
 					t.Error(wrong)
 				}
-				if len(r.talk.heard) < 1000 {
-					t.Errorf("only %d lines were passed on", len(r.talk.heard))
+				if len(r.transcript.received) < 1000 {
+					t.Errorf("only %d lines were passed on", len(r.transcript.received))
 				}
 			})
 		})
--- /dev/null
+++ b/internal/refmodel/silent_watch_test.go
@@ -0,0 +1,217 @@
+package refmodel_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coralrelay/internal/settings"
+)
+
+const (
+	notifyDeadline = 6 * time.Second // after it, all that a silent watch has missed counts as notified
+	callTimeout    = 1100 * ms       // of a call, until its response's head
+)
+
+// runInBubble runs f beside a discovery in a synctest bubble, and ends all that f has started.
+func runInBubble(t *testing.T, d func() *fakeDiscovery, f func(ctx context.Context, d *fakeDiscovery)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := d()
+		d.goroutines.Go(func() { d.run(ctx) })
+		f(ctx, d)
+		cancel()
+		d.goroutines.Wait()
+	})
+}
+
+// A watch falls silent, and then discovery hangs, answers 503, refuses or works. Two complete calls
+// fit into the time after which what was missed counts as notified, whatever the number of nodes;
+// where two fail at once, three do.
+func TestSilentWatchIsReplacedInTime(t *testing.T) {
+	behaviors := map[string]callBehavior{
+		"answered": answersList, "unanswered": neverAnswers, "503": answers503, "refused": refusesConnect,
+	}
+	for name, m := range behaviors {
+		for _, n := range []int{1, 300} {
+			t.Run(fmt.Sprint(name, " ", n), func(t *testing.T) {
+				var first, second, third time.Duration // the latest of all seeds
+				for seed := range uint64(60) {
+					bad := func(call int) callBehavior {
+						if call == 0 {
+							return answersList
+						}
+						return m
+					}
+					begin := func() *fakeDiscovery { return newFakeDiscovery(bad) }
+					runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+						f := d.startFollower(ctx, t, "n", seed, pollSettings(n))
+						time.Sleep(20 * time.Second)
+						last := d.silenceWatches()
+						time.Sleep(16 * time.Second)
+						calls := d.callsSince("n", last)
+						if m == answersList {
+							if took := f.firstFullListAfter(last).Sub(last); len(calls) != 1 || took > calls[0]+5*ms {
+								t.Fatalf("seed %d: the list came after %v, asked at %v", seed, took, calls)
+							}
+							calls = append(calls, 0, 0)
+						}
+						first, second, third = max(first, calls[0]), max(second, calls[1]), max(third, calls[2])
+						for i := 4; i < len(calls); i++ { // discovery is down: it is polled with a bounded backoff
+							if gap := calls[i] - calls[i-1]; gap < 750*ms || m != neverAnswers && gap > 1300*ms {
+								t.Errorf("seed %d: calls at %v", seed, calls)
+							}
+						}
+					})
+				}
+				t.Logf("calls leave at the latest after %v, %v, %v", first, second, third)
+				if second+callTimeout+100*ms > notifyDeadline {
+					t.Errorf("the second call leaves after %v, and may not end in time", second)
+				}
+				if (m == answers503 || m == refusesConnect) && third+callTimeout > notifyDeadline {
+					t.Errorf("the third call leaves after %v, and may not end in time", third)
+				}
+			})
+		}
+	}
+}
+
+// Three hundred watches fall silent at the same moment, and discovery, which serves one call at a
+// time, rejects a tenth. All nodes have the list in time, except those whose calls are rejected or
+// dropped three times.
+func TestManySilentWatchesAreReplacedInTime(t *testing.T) {
+	const nodes = 300
+	// Simultaneous events come in one order, and the race detector of Go 1.26 fails where so many
+	// timers of one bubble run on several processors.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			moods, times := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
+			begin := func() *fakeDiscovery {
+				d := newFakeDiscovery(func(call int) callBehavior {
+					if call > 0 && moods.Float64() < 0.1 {
+						return answers503
+					}
+					return answersList
+				})
+				d.serviceTime = func() time.Duration { return 4*ms + randomUpTo(times, 6*ms) }
+				return d
+			}
+			runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+				var all []*follower
+				for i := range nodes {
+					all = append(all, d.startFollower(ctx, t, fmt.Sprint("n", i), seed*nodes+uint64(i), pollSettings(nodes)))
+				}
+				time.Sleep(8 * time.Second)
+				last := d.silenceWatches()
+				time.Sleep(12 * time.Second)
+				latest, late, calls := time.Duration(0), 0, 0
+				for i, f := range all {
+					calls += len(d.callsSince(fmt.Sprint("n", i), last))
+					took := f.firstFullListAfter(last).Sub(last)
+					latest = max(latest, took)
+					if took <= 0 || took > notifyDeadline {
+						late++
+					}
+				}
+				t.Logf("the last has its list after %v, %d too late, %d calls", latest, late, calls)
+				if late > nodes/100 {
+					t.Errorf("%d of %d nodes have their list too late", late, nodes)
+				}
+			})
+		})
+	}
+}
+
+// A heartbeat that is late by less than a quarter of the interval ends no watch.
+func TestLateHeartbeatsKeepWatch(t *testing.T) {
+	for seed := range uint64(8) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		begin := func() *fakeDiscovery {
+			d := newFakeDiscovery(func(int) callBehavior { return answersList })
+			d.heartbeatInterval = func() time.Duration { return 2*time.Second + randomUpTo(rng, 490*ms) }
+			return d
+		}
+		runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+			d.startFollower(ctx, t, "n", seed, pollSettings(1))
+			time.Sleep(5 * time.Minute)
+			if calls := d.callsSince("n", time.Time{}); len(calls) != 1 {
+				t.Errorf("seed %d: %d calls, want 1", seed, len(calls))
+			}
+		})
+	}
+}
+
+// After a SIGHUP with another address, discovery is polled there at once. Two complete calls fit into
+// the 4 s after which its list counts as notified, and the poll asks for the full list.
+func TestNewDiscoveryAddressIsPolledAtOnce(t *testing.T) {
+	failures := map[string]callBehavior{
+		"unanswered": neverAnswers, "503": answers503, "refused": refusesConnect,
+	}
+	for name, m := range failures {
+		for seed := range uint64(30) {
+			begin := func() *fakeDiscovery {
+				return newFakeDiscovery(func(call int) callBehavior {
+					if call == 1 {
+						return m
+					}
+					return answersList
+				})
+			}
+			runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+				f := d.startFollower(ctx, t, "n", seed, pollSettings(300))
+				time.Sleep(20 * time.Second)
+				hup := time.Now()
+				f.watch.SetAddress("discovery:2")
+				time.Sleep(10 * time.Second)
+				took := f.firstFullListAfter(hup).Sub(hup)
+				if took <= 0 || took > 4*time.Second-callTimeout || len(d.callsSince("n", hup.Add(-1))) != 2 {
+					t.Errorf("%s, seed %d: the list came after %v", name, seed, took)
+				}
+				if r := d.lastRequest["n"]; r != "discovery:2 GET /v1/endpoints?watch=1&from=0 HTTP/1.1" {
+					t.Errorf("%s: %q", name, r)
+				}
+			})
+		}
+	}
+}
+
+// A pushed list is watched from the start of a process, and watched again after each end; what
+// comes on the watch takes effect at once.
+func TestPushedListIsWatchedFromStart(t *testing.T) {
+	set, err := settings.Decode([]byte(`{"classes":[{"name":"feed","objective":0.3,"deadline":1,"effect":"read_like"}],
+		"granularity":0.004,"nInstances":300,"limits":{"mostTries":4},"registryMode":"pushed"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin := func() *fakeDiscovery {
+		return newFakeDiscovery(func(int) callBehavior { return answersList })
+	}
+	runInBubble(t, begin, func(ctx context.Context, d *fakeDiscovery) {
+		d.serviceTime = func() time.Duration { return 0 }
+		born := time.Now()
+		f := d.startFollower(ctx, t, "n", 1, settings.ForWatch(set))
+		time.Sleep(20 * time.Second)
+		calls, listAt := d.callsSince("n", born.Add(-1)), f.firstFullListAfter(born.Add(-1))
+		if len(calls) != 1 || calls[0] != 1 || listAt != born {
+			t.Errorf("calls at %v, the list came at %v, want both at the first moment", calls, f.firstFullListAfter(born))
+		}
+		for range 3 {
+			last := d.silenceWatches()
+			time.Sleep(20 * time.Second)
+			if took := f.firstFullListAfter(last).Sub(last); took <= 0 || took > 3600*ms {
+				t.Errorf("the list came %v after the watch fell silent", took)
+			}
+		}
+		f.eventLoop.UpdateSettings(settings.ForWatch(set)) // as SIGHUP does
+		last := d.silenceWatches()
+		time.Sleep(20 * time.Second)
+		if f.firstFullListAfter(last).IsZero() {
+			t.Error("the list never came after a reload")
+		}
+	})
+}
--- /dev/null
+++ b/internal/scenario/accounts/checks.go
@@ -0,0 +1,197 @@
+package accounts
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"coralrelay/internal/fleet/logentry"
+)
+
+// violationf reports a broken rule.
+func (s *scenario) violationf(rule, format string, args ...any) {
+	s.AddViolation(rule, fmt.Sprintf(format, args...))
+}
+
+// leastActivity is how often what the scenario is to provoke happens at least in a complete run.
+var leastActivity = map[string]float64{
+	"taken": 250, "refused": 150, "leaders_lost": 6, "lines_revoked": 5, "races": 8, "answers_lost": 1,
+	"tried_" + ruleParent: 5, "tried_" + ruleSubtree: 8, "tried_" + ruleHalf: 8, "tried_" + ruleTwice: 5,
+	"trees_seen_share": 0.5,
+}
+
+// minServedShare is the share of the transactions beside it all that must be served at least.
+const minServedShare = 0.9
+
+// check checks all that was answered and observed. isComplete says that all phases ran, so that all
+// that is to be provoked has been.
+func (s *scenario) check(isComplete bool) {
+	proposals := s.history.proposals
+	slices.SortFunc(proposals, func(a, b *proposal) int { return a.calledAt.Compare(b.calledAt) })
+	s.checkAnswers(proposals)
+	s.checkTrees()
+	s.checkStaleness(proposals)
+	s.measureTimes(proposals)
+	if states := s.checkHistory(proposals); states != nil {
+		s.checkStates(states)
+	}
+	s.RequireAtLeast("taken", 60)
+	if isComplete {
+		for metric, least := range leastActivity {
+			s.RequireAtLeast(metric, least)
+		}
+	}
+	share, all := s.ServedShare(time.Now().Add(learningTime-s.Elapsed()), time.Now())
+	s.SetMetric("served_beside_it", share)
+	if all > 0 && share < minServedShare {
+		s.violationf("served", "%.3f of %d transactions were served beside it, want %v at least",
+			share, all, minServedShare)
+	}
+}
+
+// checkAnswers checks each answer by itself.
+func (s *scenario) checkAnswers(proposals []*proposal) {
+	byIndex := map[uint64]*proposal{}
+	revokedAt := map[string]uint64{} // by key name: an index
+	for _, chain := range s.history.revokedChains {
+		s.AddMetric("lines_revoked", 1)
+		for _, name := range chain.keyNames {
+			revokedAt[name] = chain.revokedAt
+		}
+	}
+	for _, o := range proposals {
+		s.AddMetric(o.metric(), 1)
+		if o.brokenRule != "" {
+			s.AddMetric("tried_"+o.brokenRule, 1)
+		}
+		if o.status != outcomeKnown || o.outcome.Index == 0 {
+			if o.isAccepted() {
+				s.AddViolation("answer", "accepted at no index: "+o.String())
+			}
+			continue
+		}
+		if one := byIndex[o.outcome.Index]; one != nil {
+			s.violationf("index", "two entries at index %d: %v and %v", o.outcome.Index, one, o)
+		}
+		byIndex[o.outcome.Index] = o
+		if o.isAccepted() && o.brokenRule != "" {
+			s.AddViolation(o.brokenRule, "accepted: "+o.String())
+		}
+		if index, ok := revokedAt[o.entry.KeyName]; ok && o.isAccepted() && o.outcome.Index > index {
+			s.violationf("revoked", "revoked at %d, accepted: %v", index, o)
+		}
+	}
+	for _, pair := range s.history.races {
+		s.AddMetric("races", 1)
+		if pair[0].isAccepted() && pair[1].isAccepted() {
+			s.violationf("compared", "two on one base version were both accepted: %v and %v", pair[0], pair[1])
+		}
+	}
+}
+
+// checkTrees checks what members held at each index: limits, scopes, conflicts and chains of grants,
+// and that all members held the same.
+func (s *scenario) checkTrees() {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
+	last := uint64(0)
+	for _, index := range slices.Sorted(maps.Keys(s.watcher.trees)) {
+		list := s.watcher.trees[index]
+		last = index
+		if len(list) > 1 {
+			s.violationf("same", "at index %d %s holds another state than %s: hashes %.8x and %.8x",
+				index, list[1].agent, list[0].agent, list[1].state.Hash, list[0].state.Hash)
+		}
+		for _, one := range list {
+			tree := one.state.Accounts
+			if err := tree.Validate(); err != nil {
+				s.violationf("tree", "%s at index %d: %v", one.agent, index, err)
+			}
+			for _, r := range tree.Routes {
+				if r.Name == halfRouteName {
+					s.violationf(ruleHalf, "%s at index %d has route %q", one.agent, index, r.Path())
+				}
+			}
+		}
+	}
+	s.SetMetric("entries", float64(last))
+	s.SetMetric("trees_seen_share", float64(len(s.watcher.trees))/float64(max(last, 1)))
+}
+
+// reportedHashes returns the hashes that members reported, by index. A member that reported another
+// hash than the first breaks a rule.
+func (s *scenario) reportedHashes() map[uint64]logentry.Hash {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
+	hashes, reporters := map[uint64]logentry.Hash{}, map[uint64]string{}
+	for _, name := range slices.Sorted(maps.Keys(s.watcher.samples)) {
+		index := uint64(0)
+		for _, sample := range s.watcher.samples[name] {
+			var hash logentry.Hash
+			if sample.Index == index || hash.UnmarshalText([]byte(sample.Hash)) != nil {
+				continue
+			}
+			index = sample.Index
+			if one, ok := hashes[index]; ok && one != hash {
+				s.violationf("hash", "at index %d %s has %.8s, %s has %.8x",
+					index, name, sample.Hash, reporters[index], one[:])
+				continue
+			}
+			hashes[index], reporters[index] = hash, name
+		}
+	}
+	return hashes
+}
+
+// checkHistory checks the history against the model, and returns the states of the order that was
+// found; nil if there is none.
+func (s *scenario) checkHistory(proposals []*proposal) map[logentry.Hash]*logentry.State {
+	hashes := s.reportedHashes()
+	final, _ := s.watcher.latest(s.Names[0])
+	s.watcher.mu.Lock()
+	genesis := s.watcher.lastTrees[s.Names[0]].Genesis
+	s.watcher.mu.Unlock()
+	first, err := logentry.NewState(genesis)
+	if err != nil {
+		s.AddViolation("history", err.Error())
+		return nil
+	}
+	m, begun := newModel(first, proposals, hashes), time.Now()
+	verdict := m.check(first, proposals, hashes[final.Index], historyTimeout)
+	s.SetMetric("history_checked_ms", float64(time.Since(begun).Milliseconds()))
+	s.SetMetric("history_operations", float64(len(proposals)))
+	switch verdict {
+	case porcupine.Ok:
+		return m.states
+	case porcupine.Illegal:
+		s.violationf("history", "%d proposals fit no order that agrees with time, with versions "+
+			"and with what members hold at the end", len(proposals))
+	default:
+		s.violationf("history", "no order of %d proposals was found within %v", len(proposals), historyTimeout)
+	}
+	return nil
+}
+
+// checkStates checks each state that a member reported against what the entries before it result in.
+func (s *scenario) checkStates(states map[logentry.Hash]*logentry.State) {
+	s.watcher.mu.Lock()
+	defer s.watcher.mu.Unlock()
+	for index, list := range s.watcher.trees {
+		for _, one := range list {
+			want := states[one.state.Hash]
+			if want == nil {
+				s.violationf("log", "%s at index %d: its hash chain is none of what was proposed", one.agent, index)
+				continue
+			}
+			if raw, err := json.Marshal(want); err != nil || sha256.Sum256(raw) != one.checksum {
+				s.violationf("log", "%s at index %d holds what the entries do not result in (%v)",
+					one.agent, index, err)
+			}
+		}
+	}
+}
--- a/internal/scenario/faultproxy/fault.go
+++ b/internal/scenario/faultproxy/fault.go
@@ -1,175 +1,134 @@
-// Package fault is a relay between real processes that can cut, delay, drop and duplicate
-// what they say to one another, each direction for itself. Each party listens at an
-// address of its own and advertises the relay's address for it; who speaks is known by the
-// loopback address that he speaks from, so that parties need one each. A speaker without
-// such an address is known by the listener that only he is told of.
 package faultproxy
 
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
-	"sync"
 	"time"
 )
 
-// Fault is what befalls what one party says to another. Its zero value is none.
+// Fault is what happens to what one party sends to another. Its zero value is no fault.
 type Fault struct {
-	Cut       bool          // nothing arrives, and nobody is told
-	Delay     time.Duration // everything is late by so much
-	Jitter    time.Duration // and by up to so much more: datagrams may overtake one another
-	Drop      float64       // of datagrams; a stream is held up instead, as by a resend
-	Duplicate float64       // of datagrams arrive twice
+	Cut       bool          // nothing arrives, and no error is reported
+	Delay     time.Duration // everything is late by this much
+	Jitter    time.Duration // and by up to this much more: datagrams may be reordered
+	Drop      float64       // the share of datagrams that is lost; a stream is delayed instead, as by a retransmit
+	Duplicate float64       // the share of datagrams that arrives twice
 }
 
-// with returns what befalls where two faults meet.
-func (f Fault) with(g Fault) Fault {
-	return Fault{f.Cut || g.Cut, f.Delay + g.Delay, f.Jitter + g.Jitter, max(f.Drop, g.Drop), max(f.Duplicate, g.Duplicate)}
-}
-
-// resend is how long what was lost on a stream takes to come again.
-const resend = 200 * time.Millisecond
-
-// Relay stands between parties.
-type Proxy struct {
-	seed   uint64
-	ctx    context.Context
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-
-	mu      sync.Mutex
-	parties map[string]*party
-	byIP    map[netip.Addr]string
-	faults  map[[2]string]Fault // by who speaks and who is spoken to
-	zones   map[[2]string]Fault // likewise, by their zones
-	rngs    map[[2]string]*rand.Rand
-	held    int
-	changed chan struct{} // closed when faults change
-}
-
-// New returns a relay without parties. What it drops follows from the seed and from the
-// order in which each party's datagrams come.
-func New(seed uint64) *Proxy {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Proxy{seed: seed, ctx: ctx, cancel: cancel, parties: map[string]*party{}, byIP: map[netip.Addr]string{},
-		faults: map[[2]string]Fault{}, zones: map[[2]string]Fault{}, rngs: map[[2]string]*rand.Rand{}, changed: make(chan struct{})}
+// combine returns the fault where two faults apply.
+func (f Fault) combine(g Fault) Fault {
+	return Fault{
+		Cut:       f.Cut || g.Cut,
+		Delay:     f.Delay + g.Delay,
+		Jitter:    f.Jitter + g.Jitter,
+		Drop:      max(f.Drop, g.Drop),
+		Duplicate: max(f.Duplicate, g.Duplicate),
+	}
 }
 
-// Set puts a fault on what one party says to another; a zero Fault takes it away.
-func (r *Proxy) Set(from, to string, f Fault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.faults[[2]string{from, to}] = f
-	r.news()
-}
+// retransmitDelay is how long what was lost on a stream takes to be sent again.
+const retransmitDelay = 200 * time.Millisecond
 
-// Zones puts a fault on all that parties of one zone say to those of another, one way. It
-// adds to what Set says of two of them; a zero Fault takes it away.
-func (r *Proxy) SetBetweenZones(from, to string, f Fault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.zones[[2]string{from, to}] = f
-	r.news()
+// fate is what becomes of some bytes.
+type fate struct {
+	copies int // that arrive
+	delay  time.Duration
 }
 
-// Between puts a fault on all that passes between two sides, both ways.
-func (r *Proxy) SetBetween(one, other []string, f Fault) {
-	r.SetOneWay(one, other, f)
-	r.SetOneWay(other, one, f)
+// faultBetween returns the fault on what one party sends to another; the lock is held.
+func (p *Proxy) faultBetween(link pair) Fault {
+	zones := pair{p.parties[link.from].zone, p.parties[link.to].zone}
+	return p.partyFaults[link].combine(p.zoneFaults[zones])
 }
 
-// OneWay puts a fault on all that one side says to the other.
-func (r *Proxy) SetOneWay(from, to []string, f Fault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, a := range from {
-		for _, b := range to {
-			r.faults[[2]string{a, b}] = f
-		}
+// rng returns the random numbers of one direction, which follow from the seed and the names; the
+// lock is held.
+func (p *Proxy) rng(link pair) *rand.Rand {
+	if rng := p.rngs[link]; rng != nil {
+		return rng
 	}
-	r.news()
-}
-
-// Heal takes all faults away. Streams that were cut end: what was lost of them is lost.
-func (r *Proxy) Heal() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	clear(r.faults)
-	clear(r.zones)
-	r.news()
+	const prime = 1099511628211 // of the FNV-1 hash
+	hash := p.seed
+	for _, b := range []byte(link.from + ">" + link.to) {
+		hash = hash*prime ^ uint64(b)
+	}
+	rng := rand.New(rand.NewPCG(p.seed, hash))
+	p.rngs[link] = rng
+	return rng
 }
 
-// news wakes whoever is held up by a fault.
-func (r *Proxy) news() {
-	close(r.changed)
-	r.changed = make(chan struct{})
+// drawDatagramFate draws what becomes of a datagram of n bytes.
+func (p *Proxy) drawDatagramFate(link pair, n int) fate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fault, isDropped, isDuplicated, delay := p.draw(link)
+	result := fate{copies: 1, delay: delay}
+	switch {
+	case fault.Cut, isDropped:
+		result.copies = 0
+	case isDuplicated:
+		result.copies = 2
+	}
+	p.account(link.from, n, result)
+	return result
 }
 
-// Close ends the relay and all that passes through it.
-func (r *Proxy) Close() {
-	r.cancel()
-	r.wg.Wait()
+// drawStreamFate draws what becomes of n bytes of a stream.
+func (p *Proxy) drawStreamFate(link pair, n int) fate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fault, isDropped, _, delay := p.draw(link)
+	result := fate{copies: 1, delay: delay}
+	switch {
+	case fault.Cut:
+		result.copies = 0
+	case isDropped:
+		result.delay += retransmitDelay
+	}
+	p.account(link.from, n, result)
+	return result
 }
 
-// between is the fault on what one party says to another; the lock is held.
-func (r *Proxy) between(from, to string) Fault {
-	return r.faults[[2]string{from, to}].with(r.zones[[2]string{r.parties[from].zone, r.parties[to].zone}])
+// draw draws what the fault of a direction does; the lock is held. All numbers are always drawn:
+// setting one fault must not change the draws of the others.
+func (p *Proxy) draw(link pair) (fault Fault, isDropped, isDuplicated bool, delay time.Duration) {
+	fault = p.faultBetween(link)
+	rng := p.rng(link)
+	isDropped = rng.Float64() < fault.Drop
+	isDuplicated = rng.Float64() < fault.Duplicate
+	delay = fault.Delay + time.Duration(rng.Float64()*float64(fault.Jitter))
+	return fault, isDropped, isDuplicated, delay
 }
 
-// fate draws what becomes of n bytes: how often they arrive and how late.
-func (r *Proxy) fate(from, to string, n int, datagram bool) (copies int, delay time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	pair := [2]string{from, to}
-	f, rng := r.between(from, to), r.rngs[pair]
-	if rng == nil {
-		h := r.seed
-		for _, b := range []byte(from + ">" + to) {
-			h = h*1099511628211 ^ uint64(b)
-		}
-		rng = rand.New(rand.NewPCG(r.seed, h))
-		r.rngs[pair] = rng
-	}
-	// Both are drawn always: a fault that is put on or off leaves the others' draws alone.
-	drop, twice, jitter := rng.Float64() < f.Drop, rng.Float64() < f.Duplicate, rng.Float64()
-	copies, delay = 1, f.Delay+time.Duration(jitter*float64(f.Jitter))
-	switch {
-	case f.Cut:
-		copies = 0
-	case drop && datagram:
-		copies = 0
-	case drop:
-		delay += resend
-	case twice && datagram:
-		copies = 2
-	}
-	p := r.parties[from]
-	p.said += uint64(n)
-	if copies == 0 {
-		p.lost++
+// account counts what a party has sent; the lock is held.
+func (p *Proxy) account(from string, n int, f fate) {
+	sender := p.parties[from]
+	sender.sentBytes += uint64(n)
+	if f.copies == 0 {
+		sender.droppedDatagrams++
 	}
-	return copies, delay
 }
 
-// cut tells whether nothing passes from one party to another, and when to look again.
-func (r *Proxy) cut(from, to string) (bool, <-chan struct{}) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.between(from, to).Cut, r.changed
+// isCut reports whether a direction is cut, and returns a channel that is closed when a fault
+// changes.
+func (p *Proxy) isCut(link pair) (cut bool, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faultBetween(link).Cut, p.changed
 }
 
-// wait waits while nothing passes from one party to another; held tells whether it had to.
-// It is false where ctx ended first.
-func (r *Proxy) wait(ctx context.Context, from, to string) (held, ok bool) {
+// waitWhileCut waits while a direction is cut; waited reports whether it had to. It returns ok false
+// if ctx ended first.
+func (p *Proxy) waitWhileCut(ctx context.Context, link pair) (waited, ok bool) {
 	for {
-		cut, changed := r.cut(from, to)
+		cut, changed := p.isCut(link)
 		if !cut {
-			return held, true
+			return waited, true
 		}
-		held = true
+		waited = true
 		select {
 		case <-ctx.Done():
-			return held, false
+			return waited, false
 		case <-changed:
 		}
 	}
--- a/internal/scenario/udp/flood.go
+++ b/internal/scenario/udp/flood.go
@@ -50,7 +50,7 @@
 			if !fake.Sleep(ctx, time.Duration(i)*arrivals/time.Duration(count)) {
 				return
 			}
-			fake.Steady(ctx, to, fmt.Sprintf("f%d", i), uint32(i), interval, &f.sent, &f.answered)
+			fake.RunSteadyFlow(ctx, to, fmt.Sprintf("f%d", i), uint32(i), interval, &f.sent, &f.answered)
 		})
 	}
 }
--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -144,12 +144,12 @@
 	}
 	for i := range r.Servers {
 		server, _, err := testbed.StartWarmServer(r.discovery, fake.ServerOptions{
-			Name:      fmt.Sprintf("s%d", i),
-			Feed:      fake.NewFeed(1, 1, 1),
-			Observer:  testbed.CountingObserver{Result: r.Result},
-			Capacity:  100 * concurrentFlows,
-			Datagrams: r.observeDatagram,
-			Late:      0.05,
+			Name:              fmt.Sprintf("s%d", i),
+			Feed:              fake.NewFeed(1, 1, 1),
+			Observer:          testbed.CountingObserver{Result: r.Result},
+			Capacity:          100 * concurrentFlows,
+			Datagrams:         r.observeDatagram,
+			DelayedReplyShare: 0.05,
 		}, []string{nodeName})
 		if err != nil {
 			return err
