--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -57,7 +57,7 @@
 		return err
 	}
 	member := newMember(fleet, c.clock)
-	listener, err := net.Listen("tcp", fleet.Agent)
+	listener, err := net.Listen("tcp", fleet.AgentAddr)
 	if err != nil {
 		return err
 	}
@@ -82,7 +82,7 @@
 		served <- agentapi.Serve(ctx, listener, a)
 	}()
 	slog.Info("serving", "component", component, "name", fleet.Name, "gossip_address", fleet.Bind,
-		"api_address", fleet.Agent, "replicated_log", fleet.ReplicatedLog.IsEnabled(), "zones", fleet.Zones.Enabled)
+		"api_address", fleet.AgentAddr, "replicated_log", fleet.ReplicatedLog.IsEnabled(), "zones", fleet.Zones.Enabled)
 	err = member.Run(ctx, gossipConfig(fleet))
 	cancel()
 	if serveErr := <-served; err == nil {
@@ -101,7 +101,7 @@
 	if err := logging.SetLevel(config.Log.Level); err != nil {
 		return operatorconfig.Fleet{}, err
 	}
-	if config.Fleet.Agent == "" {
+	if config.Fleet.AgentAddr == "" {
 		return operatorconfig.Fleet{}, operatorconfig.KeyError{
 			Key: "fleet.agent", Found: `""`, Allowed: "HOST:PORT, where the node asks"}
 	}
--- a/cmd/coralagent/member.go
+++ b/cmd/coralagent/member.go
@@ -12,11 +12,11 @@
 // newMember returns this agent's member of the gossip, which does not run yet.
 func newMember(fleet operatorconfig.Fleet, clock func() time.Duration) *gossip.Member {
 	config := quota.Config{
-		Epoch:              fleet.Epoch.Duration,
-		LeaseTimeout:       fleet.Hold.Duration,
-		ReportTTL:          fleet.Fresh.Duration,
-		RetryRatio:         fleet.Retries,
-		MaxOutlierFraction: fleet.Shun,
+		Epoch:              fleet.QuotaPeriod.Duration,
+		LeaseTimeout:       fleet.HolderTimeout.Duration,
+		ReportTTL:          fleet.ReportTTL.Duration,
+		RetryRatio:         fleet.RetryRatio,
+		MaxOutlierFraction: fleet.MaxEjectedShare,
 	}
 	member := gossip.NewMember(fleet.Name, config, quotaGuards(), clock)
 	member.Zone = fleet.Zone
@@ -32,9 +32,9 @@
 		BindAddress:      fleet.Bind,
 		AdvertiseAddress: fleet.Advertise,
 		Peers:            fleet.Peers,
-		KeyFile:          fleet.Key,
+		KeyFile:          fleet.KeyFile,
 		Unencrypted:      mutation.Enabled("open"),
-		Interval:         fleet.Interval.Duration,
+		Interval:         fleet.GossipInterval.Duration,
 		LogOutput:        libraryLog{},
 	}
 }
--- a/cmd/coralagent/replica.go
+++ b/cmd/coralagent/replica.go
@@ -37,12 +37,12 @@
 
 // replicaOptions reads the keys of the replica.
 func replicaOptions(fleet operatorconfig.Fleet, member *gossip.Member) (replog.Options, error) {
-	key, err := gossip.ReadKey(fleet.Key)
+	key, err := gossip.ReadKey(fleet.KeyFile)
 	if err != nil {
 		return replog.Options{}, err
 	}
 	log := fleet.ReplicatedLog
-	rootKey, err := log.RootKey()
+	rootKey, err := log.DecodeRootKey()
 	if err != nil {
 		return replog.Options{}, err
 	}
--- a/cmd/coralagent/slo.go
+++ b/cmd/coralagent/slo.go
@@ -12,8 +12,8 @@
 	}
 	options := &agent.SLOOptions{
 		Config:     fleet.SLO.Config(),
-		TimeScale:  fleet.SLO.Pace,
-		ScaledTime: fleet.SLO.Time,
+		TimeScale:  fleet.SLO.TimeScale,
+		ScaledTime: fleet.SLO.ScaledTime,
 		Zones:      fleet.Zones.Config(),
 		Guards:     sloGuards(),
 	}
--- a/cmd/coralctl/agent.go
+++ b/cmd/coralctl/agent.go
@@ -32,10 +32,10 @@
 		return "", err
 	}
 	config, err := operatorconfig.Parse(exported)
-	if err == nil && config.Fleet.Agent == "" {
+	if err == nil && config.Fleet.AgentAddr == "" {
 		err = errors.New("fleet.agent: empty, there is no agent to ask")
 	}
-	return config.Fleet.Agent, err
+	return config.Fleet.AgentAddr, err
 }
 
 // fetchAccounts asks the agent at the address for the tree of accounts as it knows it.
--- a/cmd/coralrelay/agentclient.go
+++ b/cmd/coralrelay/agentclient.go
@@ -18,11 +18,11 @@
 func startAgentClient(
 	ctx context.Context, goroutines *sync.WaitGroup, fleet operatorconfig.Fleet, eventLoop *dispatch.EventLoop,
 ) error {
-	if fleet.Agent == "" || mutation.Enabled("deaf") {
+	if fleet.AgentAddr == "" || mutation.Enabled("deaf") {
 		return nil
 	}
 	client := &agentapi.Client{
-		Addr:           fleet.Agent,
+		Addr:           fleet.AgentAddr,
 		MakeReport:     func() agentapi.Report { return agentapi.Report{QuotaUsage: eventLoop.QuotaUsage()} },
 		HandleResponse: func(response agentapi.Response) { eventLoop.ApplyQuotaLease(response.QuotaLease) },
 		OnDisconnect:   logAgentUnreachable,
--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -43,7 +43,7 @@
 	if lock != nil {
 		budget.fixed += siblingDescriptors
 	}
-	if operatorFile.Fleet.Agent != "" {
+	if operatorFile.Fleet.AgentAddr != "" {
 		budget.fixed += agentDescriptors
 	}
 	if operatorFile.Resume.Enabled { // a file, a listener, and a connection from and to each peer
--- a/cmd/coralrelay/successor_test.go
+++ b/cmd/coralrelay/successor_test.go
@@ -169,7 +169,7 @@
 func TestSuccessorRefusedWhileStateIsExclusive(t *testing.T) {
 	for key, operatorFile := range map[string]string{
 		"resume.enabled": fmt.Sprintf(`{"resume":{"enabled":true,"keys":%q,"ledger":{"dir":%q}}}`,
-			resumptionEnabled(t).Resume.Keys, t.TempDir()),
+			resumptionEnabled(t).Resume.KeyDir, t.TempDir()),
 		"udp.listen": fmt.Sprintf(`{"udp":{"listen":%q}}`, freeAddr(t)),
 	} {
 		t.Run(key, func(t *testing.T) {
--- a/cmd/coralrelay/tokenresumption.go
+++ b/cmd/coralrelay/tokenresumption.go
@@ -78,7 +78,7 @@
 
 // loadServiceConfig reads the keys, and takes the times from the options.
 func loadServiceConfig(options operatorconfig.Resume) (replayguard.ServiceConfig, error) {
-	ring, err := keyfile.Load(options.Keys)
+	ring, err := keyfile.Load(options.KeyDir)
 	if err != nil {
 		return replayguard.ServiceConfig{}, fmt.Errorf("resume.keys: %w", err)
 	}
--- a/cmd/coralrelay/tokenresumption_test.go
+++ b/cmd/coralrelay/tokenresumption_test.go
@@ -71,9 +71,9 @@
 func resumptionEnabled(t *testing.T) operatorconfig.File {
 	t.Helper()
 	operatorFile := operatorconfig.Default()
-	operatorFile.Resume.Enabled, operatorFile.Resume.Keys = true, filepath.Join(t.TempDir(), "keys")
+	operatorFile.Resume.Enabled, operatorFile.Resume.KeyDir = true, filepath.Join(t.TempDir(), "keys")
 	operatorFile.Resume.ReplayGuard.Dir = t.TempDir()
-	if _, _, err := keyfile.Create(operatorFile.Resume.Keys, time.Now().Add(-time.Minute)); err != nil {
+	if _, _, err := keyfile.Create(operatorFile.Resume.KeyDir, time.Now().Add(-time.Minute)); err != nil {
 		t.Fatal(err)
 	}
 	return operatorFile
@@ -160,7 +160,7 @@
 // A replay guard that can't be opened does not keep the node from serving.
 func TestServesWithoutReplayGuard(t *testing.T) {
 	operatorFile := resumptionEnabled(t)
-	operatorFile.Resume.ReplayGuard.Dir = filepath.Join(operatorFile.Resume.Keys, "nowhere")
+	operatorFile.Resume.ReplayGuard.Dir = filepath.Join(operatorFile.Resume.KeyDir, "nowhere")
 	if err := os.WriteFile(operatorFile.Resume.ReplayGuard.Dir, nil, 0o600); err != nil { // a file stands in its place
 		t.Fatal(err)
 	}
--- a/internal/operatorconfig/accounts.go
+++ b/internal/operatorconfig/accounts.go
@@ -18,8 +18,8 @@
 // AllocationConfig returns the configuration for package account.
 func (l *Fleet) AllocationConfig() account.LeaseConfig {
 	return account.LeaseConfig{
-		Epoch:         l.Epoch.Duration,
-		HolderTimeout: l.Hold.Duration,
+		Epoch:         l.QuotaPeriod.Duration,
+		HolderTimeout: l.HolderTimeout.Duration,
 		FleetSize:     l.Accounts.Members,
 	}
 }
@@ -27,5 +27,5 @@
 func (a *Accounts) check(c *checker, l *Fleet) {
 	c.rejectIf(a.Members < 0 || a.Members > maxMembers, "fleet.accounts.members", a.Members, "0 to 1024")
 	c.rejectIf(a.Members > 0 && !l.ReplicatedLog.IsEnabled(), "fleet.accounts.members", a.Members, "0, as fleet.record has no voters")
-	c.rejectIf(l.ReplicatedLog.IsEnabled() && l.Epoch.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.Epoch, "whole milliseconds, an even number, as fleet.record has voters")
+	c.rejectIf(l.ReplicatedLog.IsEnabled() && l.QuotaPeriod.Duration%(2*time.Millisecond) != 0, "fleet.epoch", l.QuotaPeriod, "whole milliseconds, an even number, as fleet.record has voters")
 }
--- a/internal/operatorconfig/operator.go
+++ b/internal/operatorconfig/operator.go
@@ -44,7 +44,7 @@
 // Resume configures resume tokens.
 type Resume struct {
 	Enabled        bool        `json:"enabled"`
-	Keys           string      `json:"keys"` // folder of key files, reloaded on SIGHUP
+	KeyDir         string      `json:"keys"` // folder of key files, reloaded on SIGHUP
 	TokenTTL       Duration    `json:"life"` // of a token
 	ClockSkew      Duration    `json:"skew"` // nodes' clocks may differ by
 	ArbiterTimeout Duration    `json:"wait"` // for an arbiter's answer
@@ -122,7 +122,7 @@
 }
 
 func (r *Resume) check(c *checker) {
-	c.rejectIf(r.Enabled && r.Keys == "", "resume.keys", r.Keys, "a folder of key files, as resume.enabled is true")
+	c.rejectIf(r.Enabled && r.KeyDir == "", "resume.keys", r.KeyDir, "a folder of key files, as resume.enabled is true")
 	c.duration("resume.life", r.TokenTTL, time.Second, 24*time.Hour)
 	c.duration("resume.skew", r.ClockSkew, 0, time.Minute)
 	c.duration("resume.wait", r.ArbiterTimeout, time.Millisecond, 5*time.Second)
--- a/internal/operatorconfig/replicatedlog.go
+++ b/internal/operatorconfig/replicatedlog.go
@@ -11,12 +11,12 @@
 
 // ReplicatedLog configures the log that all members hold alike. It is on if it has voters.
 type ReplicatedLog struct {
-	Dir       string   `json:"dir"`       // folder; of this member alone
-	Bind      string   `json:"bind"`      // IP:PORT, TCP
-	Advertise string   `json:"advertise"` // where the others reach it, if elsewhere
-	Voters    []Voter  `json:"voters"`    // the same at all members: 3 or 5, or none for off
-	Lease     Duration `json:"lease"`     // a member that has heard no leader for so long acts on its own
-	Root      string   `json:"root"`      // base64 of the public key that may create accounts; empty for none
+	Dir           string   `json:"dir"`       // folder; of this member alone
+	Bind          string   `json:"bind"`      // IP:PORT, TCP
+	Advertise     string   `json:"advertise"` // where the others reach it, if elsewhere
+	Voters        []Voter  `json:"voters"`    // the same at all members: 3 or 5, or none for off
+	Lease         Duration `json:"lease"`     // a member that has heard no leader for so long acts on its own
+	RootPublicKey string   `json:"root"`      // base64 of the public key that may create accounts; empty for none
 }
 
 // Voter is a member that votes on the log.
@@ -38,10 +38,10 @@
 }
 
 // RootKey returns the bytes of the root key, none if there is no key.
-func (r *ReplicatedLog) RootKey() ([]byte, error) {
-	key, err := base64.StdEncoding.DecodeString(r.Root)
+func (r *ReplicatedLog) DecodeRootKey() ([]byte, error) {
+	key, err := base64.StdEncoding.DecodeString(r.RootPublicKey)
 	if err != nil || len(key) != 0 && len(key) != 32 {
-		return nil, fmt.Errorf("%d characters", len(r.Root))
+		return nil, fmt.Errorf("%d characters", len(r.RootPublicKey))
 	}
 	return key, nil
 }
@@ -49,15 +49,15 @@
 func (r *ReplicatedLog) check(c *checker, l *Fleet) {
 	const key = "fleet.record."
 	c.duration(key+"lease", r.Lease, 500*time.Millisecond, time.Minute)
-	_, err := r.RootKey()
-	c.rejectIf(err != nil, key+"root", r.Root, "what 'coralctl account key' prints for public, or nothing")
+	_, err := r.DecodeRootKey()
+	c.rejectIf(err != nil, key+"root", r.RootPublicKey, "what 'coralctl account key' prints for public, or nothing")
 	c.rejectIf(r.Bind != "" && !isIPPort(r.Bind), key+"bind", r.Bind, "IP:PORT")
 	c.rejectIf(r.Advertise != "" && !isIPPort(r.Advertise), key+"advertise", r.Advertise, "IP:PORT")
 	if !r.IsEnabled() {
 		c.rejectIf(r.Dir != "" || r.Bind != "" || r.Advertise != "", key+"voters", "none", "3 or 5, as fleet.record names a folder or an address")
 		return
 	}
-	c.rejectIf(l.Agent == "", "fleet.agent", l.Agent, "HOST:PORT, as fleet.record has voters")
+	c.rejectIf(l.AgentAddr == "", "fleet.agent", l.AgentAddr, "HOST:PORT, as fleet.record has voters")
 	c.rejectIf(l.Zone == "", "fleet.zone", l.Zone, "this member's zone, as fleet.record has voters")
 	c.rejectIf(r.Dir == "", key+"dir", r.Dir, "a folder, as fleet.record has voters")
 	c.rejectIf(r.Bind == "", key+"bind", r.Bind, "IP:PORT, as fleet.record has voters")
--- a/internal/scenario/accounts/scenario.go
+++ b/internal/scenario/accounts/scenario.go
@@ -139,7 +139,7 @@
 	}
 	options.OperatorConfig = func(_ string, file *operatorconfig.File) {
 		log := &file.Fleet.ReplicatedLog
-		log.Root = base64.StdEncoding.EncodeToString(tree.root.public())
+		log.RootPublicKey = base64.StdEncoding.EncodeToString(tree.root.public())
 		log.Lease = operatorconfig.Duration{Duration: leaseTimeout}
 	}
 	options.ClockOffset = func(name string) time.Duration {
--- a/internal/scenario/objectives/run.go
+++ b/internal/scenario/objectives/run.go
@@ -54,7 +54,7 @@
 	}
 	bedOptions := newBedOptions(options, v)
 	bedOptions.OperatorConfig = func(_ string, config *operatorconfig.File) {
-		config.Fleet.ReplicatedLog.Root = base64.StdEncoding.EncodeToString(public)
+		config.Fleet.ReplicatedLog.RootPublicKey = base64.StdEncoding.EncodeToString(public)
 		configure(config, options, bedOptions.Zones, v.steered)
 	}
 	bed, err := testbed.New(ctx, bedOptions)
@@ -111,18 +111,18 @@
 	evacuation := &config.Fleet.Zones
 	evacuation.Enabled = true
 	evacuation.Zones = zones
-	evacuation.Steady = duration(700 * time.Millisecond)
-	evacuation.Gap = duration(2 * time.Second)
-	evacuation.Ramp = duration(rampTime)
-	evacuation.Cold = testbed.SlowStartShare
-	evacuation.Bears = options.Rate / float64(options.Servers) / testbed.UsualLoad
+	evacuation.StableInterval = duration(700 * time.Millisecond)
+	evacuation.MinChangeInterval = duration(2 * time.Second)
+	evacuation.SlowStartInterval = duration(rampTime)
+	evacuation.ColdCapacityFraction = testbed.SlowStartShare
+	evacuation.EndpointSetupRate = options.Rate / float64(options.Servers) / testbed.UsualLoad
 
 	steering := &config.Fleet.SLO
 	steering.Enabled = steered
-	steering.Pace = timeScale
-	steering.Step = maxStep
-	steering.Inflow = maxInflow
-	steering.Patience = duration(steeringPatience)
+	steering.TimeScale = timeScale
+	steering.MaxMoveFraction = maxStep
+	steering.MaxInflowFraction = maxInflow
+	steering.MinBreachInterval = duration(steeringPatience)
 }
 
 func duration(d time.Duration) operatorconfig.Duration { return operatorconfig.Duration{Duration: d} }
--- a/internal/scenario/resume/start.go
+++ b/internal/scenario/resume/start.go
@@ -59,7 +59,7 @@
 		config := operatorconfig.Default()
 		config.Log.Level = "warn"
 		config.Resume.Enabled = true
-		config.Resume.Keys = r.keyFile
+		config.Resume.KeyDir = r.keyFile
 		config.Resume.ReplayGuard.Dir = filepath.Join(dir, name, "ledger")
 		config.Resume.ReplayGuard.Listen = peers[name]
 		config.Resume.ReplayGuard.Peers = peers
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -33,7 +33,7 @@
 	if bed.ClockOffset != nil {
 		process.Args = append(process.Args, "--clock-offset="+bed.ClockOffset(node.Name).String())
 	}
-	return &Agent{Process: process, Addr: config.Fleet.Agent}
+	return &Agent{Process: process, Addr: config.Fleet.AgentAddr}
 }
 
 // newMemberConfig returns what one member's file says, and opens its addresses at the proxy. The
@@ -50,7 +50,7 @@
 	config.Fleet.Name = name
 	config.Fleet.Bind = bind
 	config.Fleet.Advertise = advertise
-	if config.Fleet.Agent, err = Reserve(); err != nil || bed.Voters == 0 {
+	if config.Fleet.AgentAddr, err = Reserve(); err != nil || bed.Voters == 0 {
 		return config, err
 	}
 	return config, bed.configureLog(&config, name, number)
--- a/internal/scenario/testbed/start.go
+++ b/internal/scenario/testbed/start.go
@@ -20,10 +20,10 @@
 		return err
 	}
 	bed.Fleet = operatorconfig.Default().Fleet
-	bed.Fleet.Key = bed.KeyFile
-	bed.Fleet.Retries = bed.RetryRatio
-	bed.Fleet.Hold.Duration = bed.LeaseTimeout
-	bed.Fleet.Epoch.Duration = bed.BudgetWindow
+	bed.Fleet.KeyFile = bed.KeyFile
+	bed.Fleet.RetryRatio = bed.RetryRatio
+	bed.Fleet.HolderTimeout.Duration = bed.LeaseTimeout
+	bed.Fleet.QuotaPeriod.Duration = bed.BudgetWindow
 	var configs []operatorconfig.File // by node
 	for i := range bed.Options.Nodes {
 		name := fmt.Sprintf("n%d", i)
--- a/internal/scenario/zones/scenario.go
+++ b/internal/scenario/zones/scenario.go
@@ -121,15 +121,15 @@
 	options.OperatorConfig = func(_ string, file *operatorconfig.File) {
 		zones := &file.Fleet.Zones
 		zones.Enabled, zones.Zones = true, options.Zones
-		zones.Steady = configDuration(recoveryStep)
-		zones.Hold = configDuration(holdTime)
-		zones.HoldMost = configDuration(2 * holdTime)
-		zones.Quiet = configDuration(2 * holdTime)
-		zones.Gap = configDuration(2 * time.Second)
-		zones.Ramp = configDuration(slowStart)
-		zones.Skew = configDuration(clockSkew)
-		zones.Cold = testbed.SlowStartShare
-		zones.Bears = o.Rate / float64(o.Servers) / testbed.UsualLoad
+		zones.StableInterval = configDuration(recoveryStep)
+		zones.BaseHoldInterval = configDuration(holdTime)
+		zones.MaxHoldInterval = configDuration(2 * holdTime)
+		zones.FailureResetInterval = configDuration(2 * holdTime)
+		zones.MinChangeInterval = configDuration(2 * time.Second)
+		zones.SlowStartInterval = configDuration(slowStart)
+		zones.MaxClockSkew = configDuration(clockSkew)
+		zones.ColdCapacityFraction = testbed.SlowStartShare
+		zones.EndpointSetupRate = o.Rate / float64(o.Servers) / testbed.UsualLoad
 		file.Fleet.ReplicatedLog.Lease = configDuration(leaseTimeout)
 	}
 	options.ClockOffset = func(name string) time.Duration {
