--- a/internal/operatorconfig/replicatedlog.go
+++ b/internal/operatorconfig/replicatedlog.go
@@ -37,7 +37,7 @@
 	return r.Bind
 }
 
-// RootKey returns the bytes of the root key, none if there is no key.
+// DecodeRootKey returns the bytes of the root key, none if there is no key.
 func (r *ReplicatedLog) DecodeRootKey() ([]byte, error) {
 	key, err := base64.StdEncoding.DecodeString(r.RootPublicKey)
 	if err != nil || len(key) != 0 && len(key) != 32 {
--- a/internal/operatorconfig/slo.go
+++ b/internal/operatorconfig/slo.go
@@ -69,7 +69,7 @@
 // scaledTimeOrigin is where a faster clock starts: it has to be the same at all members.
 const scaledTimeOrigin = time.Duration(1_767_225_600) * time.Second // 2026-01-01
 
-// Time returns the Unix time that package slo is given in place of unix.
+// ScaledTime returns the Unix time that package slo is given in place of unix.
 func (p *SLO) ScaledTime(unix time.Duration) time.Duration {
 	if p.TimeScale <= 1 {
 		return unix
