--- a/internal/fleet/replog/statefile.go
+++ b/internal/fleet/replog/statefile.go
@@ -66,7 +66,7 @@
 			return state, nil
 		}
 		_ = file.Close()
-		quarantinePath, renameErr := quarantineFile(f.path(), label)
+		quarantinePath, renameErr := store.Quarantine(f.path(), label)
 		if renameErr != nil {
 			return nil, errors.Join(err, renameErr)
 		}
--- a/internal/fleet/replog/voterstore.go
+++ b/internal/fleet/replog/voterstore.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"path/filepath"
 	"sync"
 
@@ -93,7 +92,7 @@
 			return s, quarantineReason, nil
 		}
 		_ = file.Close()
-		quarantinePath, err := quarantineFile(path, "torn")
+		quarantinePath, err := store.Quarantine(path, "torn")
 		if err != nil {
 			return nil, "", errors.Join(loadErr, err)
 		}
@@ -102,22 +101,6 @@
 	return nil, quarantineReason, fmt.Errorf("store %s: a fresh one is bad too", path)
 }
 
-// quarantineFile moves a store aside whose content is bad though its pages are sound, and
-// returns its new path, which ends in the label and a number.
-func quarantineFile(path, label string) (string, error) {
-	for n := 1; ; n++ {
-		target := fmt.Sprintf("%s.%s-%d", path, label, n)
-		err := os.Link(path, target)
-		if errors.Is(err, os.ErrExist) {
-			continue
-		}
-		if err != nil {
-			return "", err
-		}
-		return target, os.Remove(path)
-	}
-}
-
 // load reads everything into memory and checks it.
 func (s *voterStore) load() error {
 	return s.store.View(func(tx *store.Tx) error {
