Little time left, broken paths and bursts no longer cost servers, clients or sessions

Cause: recordSetupOutcome counted a timeout of any length; finishRelay took every read error but a deadline for the endpoint's end; bufio flushed by the write deadline that the line before had left. Change: a timeout counts only after half of what others wait for admission; ETIMEDOUT and unreachable paths migrate the client; bufconn.AppendLine sets its own deadline where it must write.

--- a/balance/placement.go
+++ b/balance/placement.go
@@ -62,7 +62,7 @@
 	if !isCurrent && !e.Final && r.phase != established {
 		return // the end of this attempt is known
 	}
-	if r.phase == attempting && r.server != nil {
+	if r.phase == attempting && r.server != nil && !b.hadLittleTime(r, e.Outcome) {
 		b.recordSetupOutcome(r.server, e.Outcome)
 	}
 	if !e.Final && r.phase != established {
@@ -80,6 +80,13 @@
 	b.forgetRequest(r)
 }
 
+// hadLittleTime reports whether an attempt timed out because its request had little time left: less than
+// half of what others wait for admission alone. Servers drop such requests without a word, so that the
+// timeout says nothing of the server and nothing of the fleet.
+func (b *Balancer) hadLittleTime(r *request, outcome Outcome) bool {
+	return outcome == TimedOut && b.now-r.startedAt < b.queueTimeout(r)/2
+}
+
 // recordSetupOutcome counts a failed attempt against its server and in the failure rate.
 func (b *Balancer) recordSetupOutcome(s *server, outcome Outcome) {
 	switch outcome {
--- a/internal/bufconn/conn.go
+++ b/internal/bufconn/conn.go
@@ -134,6 +134,18 @@
 	return c.PrintfLine("%s", line)
 }
 
+// AppendLine buffers a line that has its line end. If the buffer has no room for it, what is buffered is
+// written before the deadline.
+func (c *Conn) AppendLine(line []byte, deadline time.Time) error {
+	if len(line) > c.W.Available() {
+		if err := c.SetWriteDeadline(deadline); err != nil {
+			return err
+		}
+	}
+	_, err := c.W.Write(line)
+	return err
+}
+
 // Flush writes what is buffered before the deadline.
 func (c *Conn) Flush(deadline time.Time) error {
 	if err := c.SetWriteDeadline(deadline); err != nil {
--- a/internal/neterr/neterr_test.go
+++ b/internal/neterr/neterr_test.go
@@ -11,19 +11,22 @@
 
 func TestClassifiesErrorsOfSocketCalls(t *testing.T) {
 	tests := []struct {
-		err              error
-		exhausted, local bool
+		err                          error
+		exhausted, local, brokenPath bool
 	}{
-		{syscall.EMFILE, true, true},
-		{syscall.ENFILE, true, true},
-		{syscall.ENOBUFS, true, true},
-		{syscall.ENOMEM, true, true},
-		{syscall.EADDRNOTAVAIL, false, true},
-		{syscall.ECONNREFUSED, false, false},
-		{syscall.ENETUNREACH, false, false},
-		{syscall.EHOSTUNREACH, false, false},
-		{errors.New("other"), false, false},
-		{nil, false, false},
+		{syscall.EMFILE, true, true, false},
+		{syscall.ENFILE, true, true, false},
+		{syscall.ENOBUFS, true, true, false},
+		{syscall.ENOMEM, true, true, false},
+		{syscall.EADDRNOTAVAIL, false, true, false},
+		{syscall.ECONNREFUSED, false, false, false},
+		{syscall.ECONNRESET, false, false, false},
+		{syscall.EPIPE, false, false, false},
+		{syscall.ETIMEDOUT, false, false, true},
+		{syscall.ENETUNREACH, false, false, true},
+		{syscall.EHOSTUNREACH, false, false, true},
+		{errors.New("other"), false, false, false},
+		{nil, false, false, false},
 	}
 	for _, tt := range tests {
 		wrapped := tt.err
@@ -37,6 +40,9 @@
 			if got := IsLocal(err); got != tt.local {
 				t.Errorf("IsLocal(%v) = %v", err, got)
 			}
+			if got := IsBrokenPath(err); got != tt.brokenPath {
+				t.Errorf("IsBrokenPath(%v) = %v", err, got)
+			}
 		}
 	}
 }
--- a/internal/proxy/brokenpath_test.go
+++ b/internal/proxy/brokenpath_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strings"
@@ -77,11 +76,18 @@
 		time.Sleep(time.Minute) // of the test's fake time: any write deadline of the first line is over
 		lines := strings.Repeat(strings.Repeat("x", 1020)+"\r\n", 4)
 		go fmt.Fprint(b.upstream, lines[:4096-len("\r\nMOVE\r\n")]+"\r\nMOVE\r\n")
-		var received strings.Builder
-		_, _ = io.Copy(&received, b.clientReader)
-		if got := received.String(); !strings.HasSuffix(got, "\r\nMOVE "+fixedToken{}.Token()+"\r\n") {
-			t.Errorf("received %d bytes that end with %.90q", len(got), got[max(0, len(got)-90):])
+		received, last := 0, ""
+		for !strings.HasPrefix(last, "MOVE") {
+			var err error
+			if last, err = b.clientReader.ReadString('\n'); err != nil {
+				t.Fatalf("after %d bytes: %q, %v", received, last, err)
+			}
+			received += len(last)
+		}
+		if want := "MOVE " + (fixedToken{}).Token() + "\r\n"; last != want || received != 4096-len("MOVE\r\n")+len(want) {
+			t.Errorf("received %d bytes that end with %q, want %q", received, last, want)
 		}
+		b.upstream.Close()
 		b.closeClient(t)
 	})
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -9,6 +9,7 @@
 
 	"coralrelay/internal/bufconn"
 	"coralrelay/internal/lifecycle"
+	"coralrelay/internal/neterr"
 )
 
 const (
@@ -95,7 +96,7 @@
 				s.Observe(line)
 			}
 		}
-		if _, err := s.client.W.Write(line); err != nil {
+		if err := s.client.AppendLine(line, time.Now().Add(writeTimeout)); err != nil {
 			return s.closeUpstream(up.upstream, EndClientClosed)
 		}
 		if !up.upstream.HasLine() {
@@ -118,7 +119,7 @@
 		return s.migrateClient(upstream, EndMigrated)
 	case handingOver && errors.Is(err, os.ErrDeadlineExceeded):
 		return EndHandedOver
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, bufio.ErrBufferFull), neterr.IsBrokenPath(err):
 		return s.migrateClient(upstream, EndUpstreamSilent)
 	case s.migrateWithToken(), errors.Is(err, io.EOF):
 	default:
