Clock skew of starts, arrival times, late parts of leases, descriptors for discovery

A process whose wall clock is wrong at its start took every age of an endpoint from it: starts are converted by the header's date, by starts in the future, and by late starts on a live watch. The agent's clock stepped with the wall clock. A part too many of a complete lease wrote to a nil map; a UDP attempt could join a WaitGroup that had been waited for. A call to discovery without a descriptor closes idle probe connections first.

--- a/cmd/coralagent/main.go
+++ b/cmd/coralagent/main.go
@@ -108,9 +108,13 @@
 	return config.Fleet, nil
 }
 
-// clock returns Unix time, as this agent has it.
+// processStart is where this process's clock is anchored.
+var processStart = time.Now()
+
+// clock returns Unix time, as this agent has it: it goes on evenly when the wall clock steps, since
+// leases, ages and epochs are spans of real time.
 func (c *command) clock() time.Duration {
-	return time.Duration(time.Now().UnixNano()) + c.ClockOffset
+	return time.Duration(processStart.UnixNano()) + time.Since(processStart) + c.ClockOffset
 }
 
 // agentOptions returns the agent's options without a replicated log.
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -105,7 +105,10 @@
 	n.pool.SetProbeConnLimit(budget.forProbes())
 	n.updater = &endpointUpdater{pool: n.pool, firstListReceived: make(chan struct{})}
 	n.watcher = discovery.New(n.cfg.Discovery, n.updater)
-	n.eventLoop, err = dispatch.New(dispatch.NewClock(), n.cfg.Seed, n.cfg.Settings, n.pool, n.watcher)
+	clock := dispatch.NewClock()
+	n.watcher.Now = clock.Now
+	n.watcher.Dial = n.pool.DialPlain
+	n.eventLoop, err = dispatch.New(clock, n.cfg.Seed, n.cfg.Settings, n.pool, n.watcher)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
--- a/cmd/coralrelay/sloreporter.go
+++ b/cmd/coralrelay/sloreporter.go
@@ -35,7 +35,7 @@
 	reporter := &sloReporter{
 		eventLoop:    eventLoop,
 		regionByZone: map[string]string{},
-		now:          func() time.Duration { return fleet.SLO.ScaledTime(time.Duration(time.Now().UnixNano())) },
+		now:          func() time.Duration { return fleet.SLO.ScaledTime(eventLoop.Now()) },
 		recorder:     slo.NewRecorder(fleet.SLO.Config(), fleet.Name, fleet.Zone, time.Now().UnixNano()),
 	}
 	for region, zones := range fleet.Zones.Regions {
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -69,6 +69,7 @@
 type event struct {
 	call     *call
 	progress progress
+	date     time.Time // of the header, zero if it has none
 	update   Update
 	err      error
 }
@@ -112,12 +113,12 @@
 	defer buffered.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	body, err := c.sendRequest(buffered, now.Add(headerTimeout))
+	body, date, err := c.sendRequest(buffered, now.Add(headerTimeout))
 	if err != nil {
 		return err
 	}
 	watched.headerReceived = true
-	c.send(ctx, event{call: c, progress: progressHeader})
+	c.send(ctx, event{call: c, progress: progressHeader, date: date})
 	reader := &byteReader{body: body, onFirstByte: func() {
 		c.send(ctx, event{call: c, progress: progressFirstByte})
 	}}
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httputil"
 	"strings"
 	"time"
@@ -11,30 +12,33 @@
 )
 
 // sendRequest sends the request and reads the response's header until the deadline. It returns
-// the response's body.
-func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (io.Reader, error) {
+// the response's body, and the header's date, zero if it has none.
+func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (body io.Reader, date time.Time, err error) {
 	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, err
+		return nil, date, err
 	}
-	err := conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
+	err = conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
 		c.fromGeneration, c.addr)
 	if err != nil {
-		return nil, err
+		return nil, date, err
 	}
 	status, err := conn.ReadLine()
 	if err != nil {
-		return nil, err
+		return nil, date, err
 	}
 	version, code, _ := strings.Cut(status, " ")
 	if !strings.HasPrefix(version, "HTTP/1.") || !strings.HasPrefix(code, "200") {
-		return nil, fmt.Errorf("unexpected response status %.60q", status)
+		return nil, date, fmt.Errorf("unexpected response status %.60q", status)
 	}
 	header, err := conn.ReadMIMEHeader()
 	if err != nil {
-		return nil, fmt.Errorf("response header: %w", err)
+		return nil, date, fmt.Errorf("response header: %w", err)
+	}
+	if parsed, err := http.ParseTime(header.Get("Date")); err == nil {
+		date = parsed
 	}
 	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
-		return httputil.NewChunkedReader(conn.R), nil
+		return httputil.NewChunkedReader(conn.R), date, nil
 	}
-	return conn.R, nil
+	return conn.R, date, nil
 }
--- /dev/null
+++ b/internal/discovery/skew_test.go
@@ -0,0 +1,50 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+)
+
+// A process's clock that is an hour off either way, or was when it started, is told by the header's date
+// and by starts; one that is right is believed, whatever comes late.
+func TestClockSkew(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	date := func(ahead time.Duration) func(*clockSkew) {
+		return func(s *clockSkew) { s.observeDate(now, now.Add(-ahead)) }
+	}
+	start := func(age time.Duration, isNew bool) func(*clockSkew) {
+		return func(s *clockSkew) { s.observeStart(now, now.Add(-age), isNew) }
+	}
+	tests := []struct {
+		name    string
+		observe []func(*clockSkew)
+		want    time.Duration
+	}{
+		{"nothing", nil, 0},
+		{"date of this second", []func(*clockSkew){date(time.Second)}, 0},
+		{"date an hour back", []func(*clockSkew){date(time.Hour)}, time.Hour},
+		{"date an hour ahead", []func(*clockSkew){date(-time.Hour)}, -time.Hour},
+		{"dates that differ a little", []func(*clockSkew){date(time.Hour), date(time.Hour + time.Second)}, time.Hour},
+		{"clock stepped back since", []func(*clockSkew){date(time.Hour), date(0)}, 0},
+		{"start in the future", []func(*clockSkew){start(-time.Hour, false)}, -time.Hour},
+		{"starts in the future, the latest counts", []func(*clockSkew){start(-time.Hour, false), start(-2*time.Hour, false),
+			start(-time.Minute, false)}, -2 * time.Hour},
+		{"old starts of a complete list", []func(*clockSkew){start(time.Hour, false), start(time.Hour, false),
+			start(time.Hour, false), start(time.Hour, false)}, 0},
+		{"starts as they happen", []func(*clockSkew){start(time.Second, true), start(8*time.Second, true)}, 0},
+		{"two late starts", []func(*clockSkew){start(time.Hour, true), start(time.Hour, true)}, 0},
+		{"late starts with a usual one between", []func(*clockSkew){start(time.Hour, true), start(time.Hour, true),
+			start(time.Second, true), start(time.Hour, true)}, 0},
+		{"late starts only", []func(*clockSkew){start(time.Hour+5*time.Second, true), start(time.Hour, true),
+			start(time.Hour+time.Second, true)}, time.Hour},
+	}
+	for _, tt := range tests {
+		var skew clockSkew
+		for _, observe := range tt.observe {
+			observe(&skew)
+		}
+		if skew.ahead != tt.want {
+			t.Errorf("%s: %v ahead, want %v", tt.name, skew.ahead, tt.want)
+		}
+	}
+}
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -24,6 +24,7 @@
 	watcherSide, serviceSide := net.Pipe()
 	sink := make(bufferedSink, 64)
 	watcher := New("discovery:1", sink)
+	watcher.Now = func() time.Time { return time.Unix(1796122725, 0).Add(time.Hour) } // after the starts that are listed
 	watcher.Dial = func(context.Context, string, time.Time) (net.Conn, error) { return watcherSide, nil }
 	end := runWatcher(t.Context(), watcher)
 	startedAt := time.Now()
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -25,6 +25,8 @@
 	// Dial connects to an address by a deadline, over TCP unless a test replaces it. Set
 	// before Run.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
+	// Now is the clock that the starts of endpoints are converted to. Set before Run.
+	Now func() time.Time
 
 	sink           Sink
 	pollRequested  chan struct{} // holds one if a poll is wanted
@@ -38,7 +40,8 @@
 	polledAddr     string     // of the latest call
 	lastGeneration int64      // of the last list from there
 	nextReason     callReason // of the next call
-	calls          []*call    // under way, at most two; all but the last are reported as failed
+	starts         startDates
+	calls          []*call // under way, at most two; all but the last are reported as failed
 	callGroup      sync.WaitGroup
 }
 
@@ -46,6 +49,8 @@
 func New(addr string, sink Sink) *Watcher {
 	return &Watcher{
 		Dial:           dial,
+		Now:            time.Now,
+		starts:         startDates{known: map[string]time.Duration{}},
 		sink:           sink,
 		pollRequested:  make(chan struct{}, 1),
 		addressChanged: make(chan struct{}, 1),
@@ -85,6 +90,7 @@
 	defer cancel()
 	cached.Kind = balance.ListCached
 	w.lastGeneration = cached.Generation
+	w.starts.convert(w.Now(), cached.Endpoints, false)
 	w.sink.UpdateEndpoints(cached)
 	for {
 		pollRequested, overdue := w.awaited()
@@ -186,6 +192,9 @@
 		w.reportFailure(c, reported.err)
 	case reported.progress == progressHeader:
 		c.overdue = nil
+		if !reported.date.IsZero() {
+			w.starts.skew.observeDate(w.Now(), reported.date)
+		}
 	case reported.progress == progressFirstByte && c.reason == reasonWatchEnded:
 		c.overdue = time.After(time.Until(c.listDeadline))
 	case reported.progress == progressFirstByte:
@@ -193,6 +202,7 @@
 			c.overdue = time.After(responseTimeout)
 		}
 	default:
+		w.starts.convert(w.Now(), reported.update.Endpoints, c.watching)
 		w.cancelAllBut(c)
 		c.overdue, c.failureReported, c.watching = nil, false, true
 		w.lastGeneration, w.nextReason = reported.update.Generation, reasonWatchEnded
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"coralrelay/balance"
 )
@@ -75,3 +77,41 @@
 		t.Errorf("the old watch's connection: %v, want its end", err)
 	}
 }
+
+// A process whose clock is an hour ahead of the service's, or behind, dates starts by its own clock: by
+// the header's date, or, behind, by a start in its future.
+func TestStartsAreConvertedToThisProcessesClock(t *testing.T) {
+	const startedAt = 1796122725 * time.Second // of readyInstance
+	serviceNow := time.Unix(0, int64(startedAt)).Add(7 * time.Second)
+	dated := strings.Replace(responseHead, "\r\n\r\n", "\r\nDate: "+serviceNow.UTC().Format(http.TimeFormat)+"\r\n\r\n", 1)
+	for _, tt := range []struct {
+		name, head string
+		ahead      time.Duration
+		wantAge    time.Duration
+	}{
+		{"right", responseHead, 0, 7 * time.Second},
+		{"right, with a date", dated, 0, 7 * time.Second},
+		{"ahead, with a date", dated, time.Hour, 7 * time.Second},
+		{"behind, with a date", dated, -time.Hour, 7 * time.Second},
+		{"behind", responseHead, -time.Hour, 0},
+	} {
+		now := serviceNow.Add(tt.ahead)
+		addr := startFakeDiscovery(t, func(conn net.Conn, _ string) {
+			fmt.Fprint(conn, tt.head)
+			writeChunk(conn, `{"generation":43,"reset":true,"instances":[`+readyInstance+"]}\n")
+			_, _ = conn.Read(make([]byte, 1))
+		})
+		sink := make(bufferedSink, 16)
+		watcher := New(addr, sink)
+		watcher.Now = func() time.Time { return now }
+		end := runWatcher(t.Context(), watcher)
+		sink.next(t) // the cached list
+		watcher.Subscribe()
+		update := sink.next(t)
+		age := now.Sub(time.Unix(0, int64(update.Endpoints[0].StartedAt)))
+		if age != tt.wantAge {
+			t.Errorf("%s: the endpoint has run for %v, want %v", tt.name, age, tt.wantAge)
+		}
+		end()
+	}
+}
--- a/internal/dispatch/clock.go
+++ b/internal/dispatch/clock.go
@@ -11,6 +11,9 @@
 // NewClock returns a Clock that starts now.
 func NewClock() Clock { return Clock{time.Now()} }
 
+// Now is the time by this clock, as a time of the day: it does not step when the wall clock does.
+func (c Clock) Now() time.Time { return time.Unix(0, int64(c.At(time.Now()))) }
+
 // At converts a time that time.Now has returned, or one computed from it.
 func (c Clock) At(t time.Time) time.Duration {
 	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -103,9 +103,10 @@
 	s.mu.Unlock()
 }
 
-// newSession returns the session of a request that was read from conn.
+// newSession returns the session of a request that was read from conn. Its time counts from its arrival
+// at this machine: the connection may have waited for capacity, or the process may have been held up.
 func (s *Server) newSession(conn *bufconn.Conn, request *lineproto.ConnectRequest) *proxy.Session {
-	timeout := min(request.Patience, maxRequestTimeout) - deadlineMargin
+	timeout := min(request.Patience, maxRequestTimeout) - deadlineMargin - bufconn.SinceLastArrival(conn.Conn)
 	placement := proxy.Request{
 		ID:            request.ID,
 		Class:         request.Class,
--- a/internal/fleet/agentapi/reassembler.go
+++ b/internal/fleet/agentapi/reassembler.go
@@ -7,6 +7,9 @@
 	"coralrelay/internal/fleet/agentapi/routeupdate"
 )
 
+// maxParts bounds the parts of an update or a lease: each has some kilobytes.
+const maxParts = 1 << 14
+
 // Reassembler puts the parts of updates and leases together, on the node's side. Its zero value has
 // none. It is for one goroutine.
 type Reassembler struct {
@@ -34,7 +37,7 @@
 func (r *Reassembler) AddTable(response *Response) (update routeupdate.Update, isComplete bool) {
 	part := response.Table
 	switch {
-	case part == nil:
+	case part == nil || response.TableParts > maxParts:
 		return routeupdate.Update{}, false
 	case r.tableParts > 0 && part.Index == r.tableIndex:
 		r.table.Set = append(r.table.Set, part.Set...)
@@ -56,9 +59,12 @@
 // another lease discards what was received of the one before.
 func (r *Reassembler) AddLease(response *Response) (lease account.QuotaLease, isComplete bool) {
 	part := response.Lease
-	if part == nil {
+	if part == nil || response.LeaseParts > maxParts {
 		return account.QuotaLease{}, false
 	}
+	if isComplete := r.lease.Allocated == nil && r.leaseParts > 0; isComplete && response.LeaseNumber == r.leaseNumber {
+		return account.QuotaLease{}, false // a part too many, of a lease that is complete
+	}
 	if r.leaseParts == 0 || response.LeaseNumber != r.leaseNumber {
 		r.leaseNumber, r.leaseParts = response.LeaseNumber, 0
 		r.lease = *part
--- a/internal/fleet/agentapi/reassembler_test.go
+++ b/internal/fleet/agentapi/reassembler_test.go
@@ -123,3 +123,28 @@
 		t.Errorf("%d and %d parts", len(tables), len(leases))
 	}
 }
+
+// A part too many of a lease that is complete, and a number of parts that nobody sends, change nothing.
+// The first once wrote to a map that was gone.
+func TestIgnoresPartsThatCannotBe(t *testing.T) {
+	var reassembler Reassembler
+	lease := newTestLease(2, true)
+	part := Response{Lease: &lease, LeaseNumber: 1, LeaseParts: 1}
+	if _, isComplete := reassembler.AddLease(&part); !isComplete {
+		t.Fatal("one part of one is not complete")
+	}
+	if _, isComplete := reassembler.AddLease(&part); isComplete {
+		t.Error("a second part of one completed it again")
+	}
+	endless := Response{Lease: &lease, LeaseNumber: 2, LeaseParts: maxParts + 1,
+		Table: &routeupdate.Update{Index: 3}, TableParts: maxParts + 1}
+	reassembler.AddLease(&endless)
+	reassembler.AddTable(&endless)
+	var report Report
+	if reassembler.FillProgress(&report); report.LeaseNumber != 1 || report.PartialTableIndex != 0 {
+		t.Errorf("progress %+v", report)
+	}
+	if _, isComplete := reassembler.AddLease(&Response{Lease: &lease, LeaseNumber: 3, LeaseParts: 1}); !isComplete {
+		t.Error("the next lease is not taken")
+	}
+}
--- a/internal/udp/placement.go
+++ b/internal/udp/placement.go
@@ -105,9 +105,16 @@
 
 // StartAttempt gives a flow its upstream socket. Nothing is sent to find out whether the
 // endpoint is up: an attempt counts as established as soon as there is a socket, and a refusal
-// or silence ends the placement later.
+// or silence ends the placement later. Once the listener is closed, nobody waits for goroutines any more:
+// the attempt is reported as not sent.
 func (l *Listener) StartAttempt(requested dispatch.Placement, attempt int, endpointID string, _ time.Time) {
 	starting := requested.(*placement)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		go l.dispatcher.AttemptEnded(starting, attempt, endpointID, balance.NotSent, 0, balance.EmptyLoadReport)
+		return
+	}
 	l.wg.Go(func() {
 		startedAt := time.Now()
 		if l.establish(starting, endpointID, startedAt) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -157,13 +157,18 @@
 // sendGrace is for how long after the start of a drain something new may be sent.
 func (p *Pool) sendGrace() time.Duration { return p.limits.Load().DrainGrace / 2 }
 
-// dial connects before the deadline, or the connect timeout if that is sooner. Where this process has
-// run out of descriptors, idle probe connections make way.
+// dial connects before the deadline, or the connect timeout if that is sooner.
 func (p *Pool) dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	timeout := p.limits.Load().ConnectTimeout
 	if connectDeadline := time.Now().Add(timeout); timeout > 0 && connectDeadline.Before(deadline) {
 		deadline = connectDeadline
 	}
+	return p.DialPlain(ctx, addr, deadline)
+}
+
+// DialPlain connects before the deadline. Where this process has run out of descriptors, idle probe
+// connections make way.
+func (p *Pool) DialPlain(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	conn, err := p.Dial(ctx, addr, deadline)
 	if neterr.IsExhausted(err) && p.CloseIdleProbeConns() > 0 {
 		return p.Dial(ctx, addr, deadline)
