--- a/balance/placement.go
+++ b/balance/placement.go
@@ -111,7 +111,12 @@
 		if r.mayHaveRunOn == nil { // the first that may have run, and the earliest that it can have
 			r.mayHaveRunOn, r.mayHaveRunAt = s, r.startedAt
 		}
-		mayRetry = outcome == Errored && r.class.Idempotency != NonIdempotent
+		mayRetry = outcome == Errored && lifecycle.MayRetry(lifecycle.Repeat{
+			MayHaveRun: true,
+			Effect:     effects[r.class.Idempotency],
+			InKeyScope: true, // mayRepeat looks at each server
+			KeyWindow:  never,
+		}) == lifecycle.None
 	}
 	if !mayRetry || b.hasLease() && b.quota.retryBudget < 1 {
 		b.finish(r)
--- a/internal/lifecycle/retry.go
+++ b/internal/lifecycle/retry.go
@@ -1,6 +1,10 @@
 package lifecycle
 
-import "time"
+import (
+	"time"
+
+	"coralrelay/internal/mutation"
+)
 
 // Effect says whether a request may run more than once.
 type Effect int
@@ -24,6 +28,8 @@
 // MayRetry is asked before a request is sent to a further endpoint.
 func MayRetry(repeat Repeat) Refusal {
 	switch {
+	case mutation.Enabled("repeat"):
+		return None
 	case !repeat.MayHaveRun || repeat.Effect == Idempotent:
 		return None
 	case repeat.Effect == NonIdempotent || !repeat.InKeyScope:
--- a/internal/proxy/life.go
+++ b/internal/proxy/life.go
@@ -9,6 +9,7 @@
 
 	"coralrelay/internal/audit"
 	"coralrelay/internal/lifecycle"
+	"coralrelay/internal/mutation"
 )
 
 // lateAnswerAllowance is how long after a request's deadline its answer still counts as one: the margin
@@ -88,7 +89,9 @@
 
 // ClientHasLeft reports whether the client has closed its connection, or broken it, as its socket says
 // now: what the client has sent before need not have been read.
-func (s *Session) ClientHasLeft() bool { return hasLeft(s.client.Conn) }
+func (s *Session) ClientHasLeft() bool {
+	return !mutation.Enabled("client_left") && hasLeft(s.client.Conn)
+}
 
 // hasLeft reports whether the other side of a connection has closed it or broken it. It reads nothing.
 func hasLeft(conn net.Conn) (left bool) {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -9,6 +9,7 @@
 
 	"coralrelay/internal/bufconn"
 	"coralrelay/internal/lifecycle"
+	"coralrelay/internal/mutation"
 	"coralrelay/internal/neterr"
 )
 
@@ -134,7 +135,9 @@
 // migrateClient sends the client MOVE and ends the upstream's input. What the upstream
 // still has on its way is read by Run.
 func (s *Session) migrateClient(upstream *bufconn.Conn, reason EndReason) EndReason {
-	_ = s.client.WriteLine(s.moveLine(), time.Now().Add(writeTimeout))
+	if !mutation.Enabled("move") {
+		_ = s.client.WriteLine(s.moveLine(), time.Now().Add(writeTimeout))
+	}
 	s.client.CloseWrite()
 	upstream.CloseWrite()
 	return reason
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -6,6 +6,7 @@
 	"coralrelay/internal/audit"
 	"coralrelay/internal/bufconn"
 	"coralrelay/internal/lifecycle"
+	"coralrelay/internal/mutation"
 )
 
 const (
@@ -47,6 +48,9 @@
 		reason = audit.CloseRejected
 	}
 	audit.Count(reason)
+	if mutation.Enabled("second_answer") {
+		_ = s.client.WriteLine(final.line, time.Now().Add(writeTimeout))
+	}
 	if s.client.WriteLine(final.line, time.Now().Add(writeTimeout)) == nil {
 		if final.rejected {
 			s.Metrics.Rejected()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -10,6 +10,7 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/lifecycle"
 	"coralrelay/internal/metrics"
+	"coralrelay/internal/mutation"
 )
 
 // Request describes what a client asks for. It does not change.
@@ -140,6 +141,10 @@
 func (s *Session) clientLeft() {
 	s.mu.Lock()
 	unanswered := !s.life.State().HasAnswer()
+	if unanswered && mutation.Enabled("client_left") { // its attempts go on
+		s.mu.Unlock()
+		return
+	}
 	s.apply(lifecycle.ClientLeft)
 	if s.upstream != nil {
 		s.upstream.InterruptRead()
--- a/internal/scenario/soak/soak.go
+++ b/internal/scenario/soak/soak.go
@@ -50,9 +50,9 @@
 	"kept_deadline": "a kept probe connection keeps the deadline of its last probe",
 	"probe_conns":   "probe connections are not bounded",
 	"drain":         "the node does not hear that a server drains",
-	"client_left":   "nobody asks before a write whether the client has left",
-	"second_answer": "a request that was answered may be answered again by another attempt",
-	"move":          "a planned restart cuts connections without MOVE",
+	"client_left":   "attempts go on for a client that has left",
+	"second_answer": "a rejection or failure is written twice",
+	"move":          "clients that are to migrate are cut without MOVE",
 	"repeat":        "a request that may have run is repeated whatever its effect",
 }
 
--- a/internal/scenario/soak/trace.go
+++ b/internal/scenario/soak/trace.go
@@ -91,9 +91,40 @@
 			trace.Faults = append(trace.Faults, drawFault(rng, options, at+randomSpan(rng, time.Second)))
 		}
 	}
+	trace.Faults = append(trace.Faults, provocation(options)...)
 	return trace
 }
 
+// provocations are the faults without which a mutation need not show within a short run.
+var provocations = map[string][]Kind{
+	"client_left":   {clientsLeave, linkLate},
+	"drain":         {serverDrains},
+	"second_answer": {serverBusy},
+	"repeat":        {serverSpoils},
+}
+
+// provocation returns faults at all nodes and every other server that provoke what the run's mutation
+// no longer prevents; none without a mutation.
+func provocation(options *Options) (faults []Fault) {
+	var nodes, servers []int
+	for number := range options.Nodes {
+		nodes = append(nodes, number)
+	}
+	for number := 0; number < options.Servers; number += 2 {
+		servers = append(servers, number)
+	}
+	for _, kind := range provocations[options.Mutation] {
+		faults = append(faults, Fault{
+			Kind:    kind,
+			BeginMs: warmUp.Milliseconds(),
+			EndMs:   (options.Duration - quiet).Milliseconds(),
+			Nodes:   nodes,
+			Servers: servers,
+		})
+	}
+	return faults
+}
+
 func randomSpan(rng *rand.Rand, longest time.Duration) time.Duration {
 	return time.Duration(rng.Int64N(int64(longest)))
 }
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -31,14 +32,19 @@
 	stoppedAt time.Time // when it was last killed or told to end
 }
 
-// Reserve returns a loopback address on which nobody listens.
-func Reserve() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Reserve returns a loopback address on which nobody listens: below the ephemeral ports, which the system
+// gives to connections and listeners meanwhile.
+func Reserve() (addr string, err error) {
+	const lowestPort, ephemeralPort, maxTries = 12_000, 32_000, 100
+	var listener net.Listener
+	for range maxTries {
+		port := lowestPort + rand.IntN(ephemeralPort-lowestPort)
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			defer func() { _ = listener.Close() }()
+			return listener.Addr().String(), nil
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // Start starts the node and waits until it accepts clients. It is an error, with the end of the
