--- a/internal/proxy/life.go
+++ b/internal/proxy/life.go
@@ -17,9 +17,13 @@
 const lateAnswerAllowance = 525 * time.Millisecond
 
 // auditAnswer checks, right before the final answer is written, that it still is one. A request without
-// a deadline, as of an inherited session, has been answered elsewhere.
+// a deadline, as of an inherited session, has been answered elsewhere; one that could only be read when its
+// time was over is answered all the same.
 func (s *Session) auditAnswer(now time.Time) {
-	if late := now.Sub(s.Deadline); !s.Deadline.IsZero() && late > lateAnswerAllowance {
+	if s.Deadline.IsZero() || !s.readAt.Before(s.Deadline) {
+		return
+	}
+	if late := now.Sub(s.Deadline); late > lateAnswerAllowance {
 		audit.Violate(audit.AnsweredTooLate, s.ID, "late", late)
 	}
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -44,6 +44,7 @@
 	codec    Codec
 	observer Observer
 	client   *bufconn.Conn
+	readAt   time.Time // when the request was read
 
 	ctx         context.Context // ends when the session is settled
 	cancel      context.CancelFunc
@@ -68,6 +69,7 @@
 		codec:          codec,
 		observer:       observer,
 		client:         client,
+		readAt:         time.Now(),
 		finalAnswer:    make(chan answer, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
