--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -32,13 +33,23 @@
 	stoppedAt time.Time // when it was last killed or told to end
 }
 
+// The ports that are reserved: all below the ephemeral ones, each once before any comes again.
+const lowestPort, ephemeralPort = 12_000, 32_000
+
+// reserved counts the ports that were reserved, from a start of its own in each process.
+var reserved = func() *atomic.Int64 {
+	var count atomic.Int64
+	count.Store(rand.Int64N(ephemeralPort - lowestPort))
+	return &count
+}()
+
 // Reserve returns a loopback address on which nobody listens: below the ephemeral ports, which the system
 // gives to connections and listeners meanwhile, and at an IP that runs beside this one hardly have.
 func Reserve() (addr string, err error) {
-	const lowestPort, ephemeralPort, maxTries = 12_000, 32_000, 100
+	const maxTries = 100
 	var listener net.Listener
 	for range maxTries {
-		port := lowestPort + rand.IntN(ephemeralPort-lowestPort)
+		port := lowestPort + int(reserved.Add(1))%(ephemeralPort-lowestPort)
 		if listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", runIP(), port)); err == nil {
 			defer func() { _ = listener.Close() }()
 			return listener.Addr().String(), nil
