A SIGHUP while no descriptor is left takes force once there is one

Cause: a file that could not be opened for want of a descriptor was rejected like one that can't be used, and nobody hangs up a second time.

--- a/cmd/coralrelay/activeconfig.go
+++ b/cmd/coralrelay/activeconfig.go
@@ -12,6 +12,7 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/downstream"
 	"coralrelay/internal/metrics"
+	"coralrelay/internal/neterr"
 	"coralrelay/internal/settings"
 	"coralrelay/internal/upstream"
 )
@@ -56,16 +57,20 @@
 	a.eventLoop.UpdateSettings(a.current.Settings)
 }
 
-// reload reads the platform's configuration again: all of a file comes into force, or none.
-func (a *activeConfig) reload() {
+// reload reads the platform's configuration again: all of a file comes into force, or none. The error is
+// that of a file that could not be opened for want of a descriptor, which says nothing of the file.
+func (a *activeConfig) reload() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.current
 	next, fixed, err := current.Reload(os.Getenv)
+	if neterr.IsExhausted(err) {
+		return err
+	}
 	if err != nil {
 		a.metrics.ConfigsRejected.Add(1)
 		slog.Error("configuration reload rejected, the old one stays", "component", componentReload, "error", err)
-		return
+		return nil
 	}
 	if len(fixed) > 0 {
 		slog.Warn("changed keys need a restart", "component", componentReload, "keys", fixed)
@@ -79,6 +84,7 @@
 	a.metrics.ConfigsAccepted.Add(1)
 	slog.Info("configuration reloaded", "component", componentReload, "discovery", next.Discovery,
 		"previous_discovery", current.Discovery, "classes", len(next.Settings.Classes))
+	return nil
 }
 
 // longestDeadline is the longest deadline of a class.
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -15,6 +15,7 @@
 	"coralrelay/internal/downstream"
 	"coralrelay/internal/hotrestart"
 	"coralrelay/internal/instancelock"
+	"coralrelay/internal/logging"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/settings"
@@ -46,6 +47,7 @@
 
 	// Of start.
 	resumption *tokenResumption // nil where it is off
+	reloadLog  logging.Throttled
 }
 
 // serve runs the node until terminate ends, and then drains it. On each hang-up the
