--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -13,14 +13,31 @@
 // Apply takes an event. changed reports whether the state is another one now. ok is false if the event
 // can't happen in this state, which violates an invariant; the state stays then.
 func (m *Machine) Apply(event Event) (changed, ok bool) {
-	happened := transition{from: m.state, event: event}
-	if next, known := transitions[happened]; known {
-		m.state = next
-		return true, true
+	consequence := consequences[m.state][event]
+	if consequence.changes {
+		m.state = consequence.next
 	}
-	return false, ignored[happened]
+	return consequence.changes, consequence.possible
 }
 
+// consequence is what an event in a state leads to.
+type consequence struct {
+	possible, changes bool
+	next              State
+}
+
+// consequences has all states and events, as transitions and ignored say: a session looks it up for each
+// event.
+var consequences = func() (table [stateCount][eventCount]consequence) {
+	for happened, next := range transitions {
+		table[happened.from][happened.event] = consequence{possible: true, changes: true, next: next}
+	}
+	for happened := range ignored {
+		table[happened.from][happened.event] = consequence{possible: true}
+	}
+	return table
+}()
+
 // Attempt is what is known of an attempt right before its first byte is written.
 type Attempt struct {
 	Deadline         time.Time // for its answer, or the end of the time in which a repeat does no harm
