--- a/internal/discovery/skew.go
+++ b/internal/discovery/skew.go
@@ -68,19 +68,23 @@
 }
 
 // convert converts the starts of a message that came at now. isLive is set if the message is a change on
-// a watch that was up to date before it.
-func (d *startDates) convert(now time.Time, endpoints []Endpoint, isLive bool) {
-	for i := range endpoints {
-		d.observe(now, &endpoints[i], isLive)
+// a watch that was up to date before it. What a complete list does not name is forgotten.
+func (d *startDates) convert(now time.Time, update *Update, isLive bool) {
+	before := d.known
+	if update.Kind != balance.ListDelta {
+		d.known = map[string]time.Duration{}
 	}
-	for i := range endpoints {
-		endpoints[i].StartedAt = d.skew.toLocal(endpoints[i].StartedAt)
+	for i := range update.Endpoints {
+		d.observe(now, &update.Endpoints[i], before, isLive)
+	}
+	for i := range update.Endpoints {
+		update.Endpoints[i].StartedAt = d.skew.toLocal(update.Endpoints[i].StartedAt)
 	}
 }
 
-// observe learns from the start of one endpoint.
-func (d *startDates) observe(now time.Time, endpoint *Endpoint, isLive bool) {
-	known, isKnown := d.known[endpoint.ID]
+// observe learns from the start of one endpoint, beside those that were known before the message.
+func (d *startDates) observe(now time.Time, endpoint *Endpoint, before map[string]time.Duration, isLive bool) {
+	known, isKnown := before[endpoint.ID]
 	if endpoint.State == balance.Gone || endpoint.StartedAt <= 0 {
 		delete(d.known, endpoint.ID)
 		return
--- a/internal/discovery/skew_test.go
+++ b/internal/discovery/skew_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"coralrelay/balance"
 )
 
 // A process's clock that is an hour off either way, or was when it started, is told by the header's date
@@ -48,3 +50,28 @@
 		}
 	}
 }
+
+// Starts are remembered for as long as their endpoint is listed, and no longer.
+func TestStartsOfUnlistedEndpointsAreForgotten(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	started := func(id string) Endpoint {
+		return Endpoint{ServerEntry: balance.ServerEntry{ID: id, StartedAt: time.Duration(now.UnixNano()) - time.Second}}
+	}
+	gone := started("s2")
+	gone.State = balance.Gone
+	dates := startDates{known: map[string]time.Duration{}}
+	for _, step := range []struct {
+		update Update
+		want   int
+	}{
+		{Update{Kind: balance.ListCached, Endpoints: []Endpoint{started("s1"), started("s2")}}, 2},
+		{Update{Kind: balance.ListDelta, Endpoints: []Endpoint{started("s3")}}, 3},
+		{Update{Kind: balance.ListDelta, Endpoints: []Endpoint{gone}}, 2},
+		{Update{Kind: balance.ListFull, Endpoints: []Endpoint{started("s3")}}, 1},
+	} {
+		dates.convert(now, &step.update, true)
+		if len(dates.known) != step.want {
+			t.Errorf("%d starts are known after %+v, want %d", len(dates.known), step.update, step.want)
+		}
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -90,7 +90,7 @@
 	defer cancel()
 	cached.Kind = balance.ListCached
 	w.lastGeneration = cached.Generation
-	w.starts.convert(w.Now(), cached.Endpoints, false)
+	w.starts.convert(w.Now(), &cached, false)
 	w.sink.UpdateEndpoints(cached)
 	for {
 		pollRequested, overdue := w.awaited()
@@ -202,7 +202,7 @@
 			c.overdue = time.After(responseTimeout)
 		}
 	default:
-		w.starts.convert(w.Now(), reported.update.Endpoints, c.watching)
+		w.starts.convert(w.Now(), &reported.update, c.watching)
 		w.cancelAllBut(c)
 		c.overdue, c.failureReported, c.watching = nil, false, true
 		w.lastGeneration, w.nextReason = reported.update.Generation, reasonWatchEnded
