A silent endpoint's kept probe connection is given up after a quarter of the connect timeout

Cause: a probe over a kept connection waited half of its time before a new one was tried, so that an endpoint which is cut off was found out after 500 ms in place of the connect timeout's 250. Change: keptDeadline.

--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -24,6 +24,10 @@
 	errNoPlace = errors.New("all probe connections are in use")
 )
 
+// keptConnectFraction is the part of the connect timeout for which an answer over a kept connection is
+// awaited.
+const keptConnectFraction = 4
+
 // Probe requests a load report from an endpoint. The result is reported to the observer. An
 // endpoint has one probe at a time; one that is requested meanwhile follows it, and shares its result
 // with all that are requested until then.
@@ -77,10 +81,9 @@
 		return p.overNewConn(ctx, deadline)
 	}
 	// The endpoint may have closed the kept connection while it was idle, or have forgotten it and
-	// stay silent: half of the time is left for a new one. An answer that is not a load report is an
-	// answer all the same: to ask again would only add to what ails the endpoint.
-	halfTime := time.Now().Add(time.Until(deadline) / 2)
-	load, err := p.query(ctx, kept, halfTime)
+	// stay silent. An answer that is not a load report is an answer all the same: to ask again would
+	// only add to what ails the endpoint.
+	load, err := p.query(ctx, kept, p.keptDeadline(deadline))
 	if err == nil || errors.Is(err, errNotLoadReport) || ctx.Err() != nil {
 		return load, err
 	}
@@ -93,6 +96,18 @@
 	return p.overNewConn(ctx, deadline)
 }
 
+// keptDeadline is how long an answer over a kept connection is awaited before a new one is tried: no more
+// than half of the time, and a part of what a connection may take, so that an endpoint which is cut off is
+// found out hardly later than by a new connection alone.
+func (p *probe) keptDeadline(deadline time.Time) time.Time {
+	now := time.Now()
+	wait := deadline.Sub(now) / 2
+	if timeout := p.pool.limits.Load().ConnectTimeout; timeout > 0 {
+		wait = min(wait, timeout/keptConnectFraction)
+	}
+	return now.Add(wait)
+}
+
 // overNewConn asks over a new connection, for which a place is taken already.
 func (p *probe) overNewConn(ctx context.Context, deadline time.Time) (balance.LoadReport, error) {
 	conn, err := p.pool.dial(ctx, p.addr, deadline)
