--- a/internal/scenario/soak/oracle.go
+++ b/internal/scenario/soak/oracle.go
@@ -75,11 +75,19 @@
 	return downFrom >= 0 && downFrom <= to+transit
 }
 
+// playedAt is at which nodes a fault was played.
+func (r *run) playedAt(fault *Fault) []int {
+	if strings.HasPrefix(string(fault.Kind), "node_") {
+		return r.nodesFor(fault)
+	}
+	return fault.Nodes
+}
+
 // faultAt reports whether a fault of some kinds was at a node within a span.
 func (r *run) faultAt(node int, from, to, allowance time.Duration, kinds ...Kind) bool {
 	for i := range r.trace.Faults {
 		f := &r.trace.Faults[i]
-		if slices.Contains(kinds, f.Kind) && (node < 0 || slices.Contains(f.Nodes, node) || strings.HasPrefix(string(f.Kind), "node_")) &&
+		if slices.Contains(kinds, f.Kind) && (node < 0 || slices.Contains(r.playedAt(f), node)) &&
 			f.overlaps(from, to, allowance) {
 			return true
 		}
