One WithDescriptor for all connections, draws from a subset by drawFrom, one limited node

Change: it moves to bufconn, drawFrom is one pass, startLimitedNode. Behaviour and assertions stay; IsIdle keeps its own, as it has to read.

--- a/balance/draw.go
+++ b/balance/draw.go
@@ -61,15 +61,24 @@
 	if len(b.servers.ready) == 0 {
 		return nil
 	}
-	for void := range 2 * maxVoidDraws {
-		subset := b.drawSubset()
-		if void >= maxVoidDraws { // the subset has none for r; without one, all servers were drawn from
-			if subset.size == len(b.servers.ready) {
-				break
-			}
-			subset = b.wholeFleet()
-		}
-		s := b.drawUniformly(subset)
+	from := b.drawSubset()
+	s := b.drawFrom(from, r)
+	if s == nil && from != b.wholeFleet() { // the subset has none for r
+		s = b.drawFrom(b.wholeFleet(), r)
+	}
+	if s != nil {
+		return s
+	}
+	if r.Constraint != nil || b.hasZoneLimits() {
+		return b.drawWeighted(r)
+	}
+	return nil
+}
+
+// drawFrom draws a server of a subset; nil if maxVoidDraws draws in a row were void.
+func (b *Balancer) drawFrom(from subset, r *request) *server {
+	for range maxVoidDraws {
+		s := b.drawUniformly(from)
 		if !b.isAllowed(r, s) {
 			continue
 		}
@@ -77,9 +86,6 @@
 			return s
 		}
 	}
-	if r.Constraint != nil || b.hasZoneLimits() {
-		return b.drawWeighted(r)
-	}
 	return nil
 }
 
--- a/cmd/coralrelay/flood_test.go
+++ b/cmd/coralrelay/flood_test.go
@@ -110,20 +110,27 @@
 	}
 }
 
-// While discovery is down a flood of clients stays silent, sends what is no line, or opens sessions
-// and stays. The process may hold few descriptors and has many endpoints, and probes them all. Its
-// watch comes back soon after discovery's return, sessions go on, and new clients are served.
-func TestFloodWhileDiscoveryIsDown(t *testing.T) {
-	const endpoints, sockets = 60, 160
+// startLimitedNode starts a process that may hold so many descriptors, beside a discovery that lists so
+// many endpoints, and waits until it serves and knows them all.
+func startLimitedNode(t *testing.T, endpoints, sockets int) (p *process, addr string, discovery *discoveryProxy) {
+	t.Helper()
 	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
-	var got atomic.Int32
-	upstreamAddr := testsocket.Serve(t, serveUpstream(&got))
+	upstreamAddr := testsocket.Serve(t, serveUpstream(&atomic.Int32{}))
 	discovery, discoveryAddr := startDiscoveryProxy(t, endpoints, upstreamAddr)
 	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
 	writeConfig(t, path, addr, discoveryAddr, upstreamAddr, sockets)
-	p := startProcess(t, path, t.TempDir(), nil)
+	p = startProcess(t, path, t.TempDir(), nil)
 	p.untilAnswer("PING", "200")
 	p.untilMetrics(fmt.Sprintf("balancer.registry_entries:%d|g\r\n", endpoints))
+	return p, addr, discovery
+}
+
+// While discovery is down a flood of clients stays silent, sends what is no line, or opens sessions
+// and stays. The process may hold few descriptors and has many endpoints, and probes them all. Its
+// watch comes back soon after discovery's return, sessions go on, and new clients are served.
+func TestFloodWhileDiscoveryIsDown(t *testing.T) {
+	const endpoints, sockets = 60, 160
+	p, addr, discovery := startLimitedNode(t, endpoints, sockets)
 	var sessions []*client
 	for i := range 10 {
 		sessions = append(sessions, openSession(t, addr, fmt.Sprint("a", i)))
--- a/cmd/coralrelay/manyendpoints_test.go
+++ b/cmd/coralrelay/manyendpoints_test.go
@@ -3,14 +3,11 @@
 import (
 	"fmt"
 	"net"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
-
-	"coralrelay/internal/testsocket"
 )
 
 // A process that may hold 512 descriptors serves all clients beside 1,500 endpoints, however many of
@@ -18,15 +15,7 @@
 // client was accepted any more.
 func TestServesBesideMoreEndpointsThanDescriptors(t *testing.T) {
 	const endpoints, sockets, clients, atOnce = 1500, 512, 1200, 8
-	t.Setenv("TEST_NOFILE", fmt.Sprint(sockets))
-	var got atomic.Int32
-	upstreamAddr := testsocket.Serve(t, serveUpstream(&got))
-	_, discoveryAddr := startDiscoveryProxy(t, endpoints, upstreamAddr)
-	addr, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, addr, discoveryAddr, upstreamAddr, sockets)
-	p := startProcess(t, path, t.TempDir(), nil)
-	p.untilAnswer("PING", "200")
-	p.untilMetrics(fmt.Sprintf("balancer.registry_entries:%d|g\r\n", endpoints))
+	p, addr, _ := startLimitedNode(t, endpoints, sockets)
 
 	ids := make(chan int)
 	var served atomic.Int32
--- a/internal/hotrestart/helpers_test.go
+++ b/internal/hotrestart/helpers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"coralrelay/balance"
+	"coralrelay/internal/bufconn"
 	"coralrelay/internal/proxy"
 )
 
@@ -141,7 +142,7 @@
 // descriptorOf is a connection's descriptor.
 func descriptorOf(t *testing.T, c net.Conn) (fd int) {
 	t.Helper()
-	if err := withDescriptor(c, func(n int) error { fd = n; return nil }); err != nil {
+	if err := bufconn.WithDescriptor(c, func(n int) error { fd = n; return nil }); err != nil {
 		t.Fatal(err)
 	}
 	return fd
--- a/internal/hotrestart/sender.go
+++ b/internal/hotrestart/sender.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"coralrelay/balance"
+	"coralrelay/internal/bufconn"
 	"coralrelay/internal/proxy"
 )
 
@@ -52,8 +53,8 @@
 
 // writeOffer writes a message with the descriptors of both connections, under the lock.
 func (s *Sender) writeOffer(message []byte, downstreamConn, upstreamConn net.Conn) error {
-	return withDescriptor(downstreamConn, func(downstreamFD int) error {
-		return withDescriptor(upstreamConn, func(upstreamFD int) error {
+	return bufconn.WithDescriptor(downstreamConn, func(downstreamFD int) error {
+		return bufconn.WithDescriptor(upstreamConn, func(upstreamFD int) error {
 			_, _, err := s.conn.WriteMsgUnix(message, unix.UnixRights(downstreamFD, upstreamFD), nil)
 			return err
 		})
--- a/internal/hotrestart/socket.go
+++ b/internal/hotrestart/socket.go
@@ -1,12 +1,10 @@
 package hotrestart
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -38,17 +36,3 @@
 	})
 	return same
 }
-
-// withDescriptor calls use with a connection's descriptor, which stays the connection's.
-func withDescriptor(conn net.Conn, use func(fd int) error) error {
-	withSyscalls, ok := conn.(syscall.Conn)
-	if !ok {
-		return errors.New("the connection has no descriptor")
-	}
-	raw, err := withSyscalls.SyscallConn()
-	if err != nil {
-		return err
-	}
-	controlErr := raw.Control(func(fd uintptr) { err = use(int(fd)) })
-	return errors.Join(controlErr, err)
-}
--- a/internal/proxy/life.go
+++ b/internal/proxy/life.go
@@ -1,13 +1,14 @@
 package proxy
 
 import (
+	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"coralrelay/internal/audit"
+	"coralrelay/internal/bufconn"
 	"coralrelay/internal/lifecycle"
 	"coralrelay/internal/mutation"
 )
@@ -99,19 +100,15 @@
 
 // hasLeft reports whether the other side of a connection has closed it or broken it. It reads nothing.
 func hasLeft(conn net.Conn) (left bool) {
-	syscallConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return false // a test's, without a descriptor
-	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return true // it is closed
-	}
 	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
-	err = raw.Control(func(fd uintptr) {
+	err := bufconn.WithDescriptor(conn, func(fd int) error {
 		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		count, pollErr := unix.Poll(polled, 0)
 		left = pollErr == nil && count > 0 && polled[0].Revents&ended != 0
+		return nil // a poll that fails says nothing
 	})
-	return left || err != nil
+	if errors.Is(err, bufconn.ErrNoDescriptor) {
+		return false // a test's
+	}
+	return left || err != nil // the connection is closed
 }
