Calls of discovery, attempts and rejections say why: log lines and metrics

Cause: the drain incident's logs showed neither why a call of discovery began, how far it came and how it ended, nor how old a node's list was, nor why 95 % of requests were refused. Change: each call has a number, reason, progress and typed outcome (internal/listlease) in its log line, also one that ends after it was overdue; attempts log the list's generation and age at debug level; INFO has registry_age_ms, registry_calls by outcome and rejections by reason; the module's Reject and Fail carry their reason.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -15,14 +15,39 @@
 	Timeout time.Duration // 0: until the client gives up
 }
 
+// RejectReason is why a request is given up.
+type RejectReason int
+
+// The reasons for which a request is given up.
+const (
+	NotAdmitted       RejectReason = iota // admission was closed for as long as it may wait
+	OutOfTime                             // its time is over
+	NoServer                              // no ready server may take it
+	AttemptsUsedUp                        // it has had all its attempts
+	RepeatHarmful                         // it may have run, and must not be repeated
+	OverQuota                             // the fleet's quotas do not allow it
+	ConstraintFull                        // no server within its constraint has capacity
+	RejectReasonCount                     // how many reasons there are
+)
+
+var rejectReasonNames = [RejectReasonCount]string{"not_admitted", "out_of_time", "no_server", "attempts_used_up",
+	"repeat_harmful", "over_quota", "constraint_full"}
+
+// String returns the reason as it stands in log lines and metrics.
+func (r RejectReason) String() string { return rejectReasonNames[r] }
+
 // Reject is a final answer: the request was not served, and repeating it is harmless.
 type Reject struct {
 	ID         string
 	RetryAfter time.Duration // the client ought not to return sooner; 0 for no advice
+	Reason     RejectReason
 }
 
 // Fail is a final answer that says nothing of whether the request ran.
-type Fail struct{ ID string }
+type Fail struct {
+	ID     string
+	Reason RejectReason
+}
 
 // Migrate ends an open connection gracefully; its client connects again.
 type Migrate struct{ ID string }
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -26,7 +26,7 @@
 	r.answerDeadline = q.Deadline - 2*b.settings.Tick
 	isFirstArrival := !q.Reconnecting && !q.ClientRetry
 	if isFirstArrival && b.hasLease() && b.quota.shedFraction > 0 && b.rng.Float64() < b.quota.shedFraction {
-		b.finish(r) // the fleet can't carry it
+		b.finish(r, OverQuota) // the fleet can't carry it
 		return
 	}
 	b.enqueue(r)
@@ -47,8 +47,12 @@
 func (b *Balancer) enqueue(r *request) {
 	b.setPhase(r, queued)
 	r.round.reset()
-	if b.now >= r.answerDeadline || b.isUnplaceable(r) {
-		b.finish(r)
+	if b.now >= r.answerDeadline {
+		b.finish(r, OutOfTime)
+		return
+	}
+	if reason, unplaceable := b.isUnplaceable(r); unplaceable {
+		b.finish(r, reason)
 		return
 	}
 	b.admission.queue = append(b.admission.queue, r)
@@ -65,32 +69,36 @@
 	return cmp.Or(r.class.LatencyObjective, r.class.Deadline)
 }
 
-// isUnplaceable reports whether r has no attempt left, or may be sent to no ready server. Then it is
-// answered at once: to wait for another server would only keep its client from asking again. Before the
-// first list servers may still come, unless r's constraint allows none.
-func (b *Balancer) isUnplaceable(r *request) bool {
+// isUnplaceable reports whether r has no attempt left, or may be sent to no ready server, and which. Then
+// it is answered at once: to wait for another server would only keep its client from asking again. Before
+// the first list servers may still come, unless r's constraint allows none.
+func (b *Balancer) isUnplaceable(r *request) (reason RejectReason, yes bool) {
 	if r.attemptCount >= b.settings.Limits.MaxAttempts {
-		return true
+		return AttemptsUsedUp, true
 	}
 	allowsNoZone := r.Constraint != nil && len(r.Constraint.Zones) == 0 && r.Constraint.DefaultShare == 0
-	return (b.subscription.listReceived || allowsNoZone) &&
+	noneIsAllowed := (b.subscription.listReceived || allowsNoZone) &&
 		!slices.ContainsFunc(b.servers.ready, func(s *server) bool { return b.isAllowed(r, s) })
+	return NoServer, noneIsAllowed
 }
 
 // finishUnplaceable answers the requests whose last possible server has left, or that have made more
 // attempts than are allowed by now.
 func (b *Balancer) finishUnplaceable() {
-	var unplaceable []*request
+	var waiting []*request
 	for _, r := range b.requests.bySequence {
-		if r.awaitsPlacement() && b.isUnplaceable(r) {
-			unplaceable = append(unplaceable, r)
+		if r.awaitsPlacement() {
+			waiting = append(waiting, r)
 		}
 	}
 	// Not in the map's order.
-	slices.SortFunc(unplaceable, func(r, o *request) int { return cmp.Compare(r.sequence, o.sequence) })
-	for _, r := range unplaceable {
-		if r.awaitsPlacement() { // the end of another may have brought its own
-			b.finish(r)
+	slices.SortFunc(waiting, func(r, o *request) int { return cmp.Compare(r.sequence, o.sequence) })
+	for _, r := range waiting {
+		if !r.awaitsPlacement() { // the end of another has brought its own
+			continue
+		}
+		if reason, unplaceable := b.isUnplaceable(r); unplaceable {
+			b.finish(r, reason)
 		}
 	}
 }
@@ -105,7 +113,7 @@
 		r := a.queue[last]
 		a.queue = a.queue[:last]
 		if b.now >= r.answerDeadline {
-			b.finish(r)
+			b.finish(r, OutOfTime)
 			continue
 		}
 		b.setPhase(r, drawing)
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -140,7 +140,7 @@
 	}
 	if s == nil || !s.isReady() || r.round.bestLoad >= fullLoad {
 		if r.Constraint != nil && b.subscription.listReceived {
-			b.finish(r) // others may go elsewhere: it says nothing of the fleet
+			b.finish(r, ConstraintFull) // others may go elsewhere: it says nothing of the fleet
 			return
 		}
 		b.reduceWindow()
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -115,7 +115,7 @@
 			b.resumeDrawing(r, s, false)
 		}
 	case queued: // it was not admitted in time
-		b.finish(r)
+		b.finish(r, NotAdmitted)
 	case established:
 		b.migrate(r)
 	}
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -118,8 +118,12 @@
 			KeyWindow:  never,
 		}) == lifecycle.None
 	}
-	if !mayRetry || b.hasLease() && b.quota.retryBudget < 1 {
-		b.finish(r)
+	if !mayRetry {
+		b.finish(r, RepeatHarmful)
+		return
+	}
+	if b.hasLease() && b.quota.retryBudget < 1 {
+		b.finish(r, OverQuota)
 		return
 	}
 	if s != nil {
@@ -169,7 +173,7 @@
 }
 
 // finish gives r its final answer: rejected where trying again is surely harmless, else failed.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(r *request, reason RejectReason) {
 	isHarmless := r.mayHaveRunOn == nil || r.class.Idempotency == Idempotent ||
 		r.class.Idempotency == IdempotencyKeyed && r.class.KeyScope == ScopeAll
 	if isHarmless {
@@ -177,9 +181,9 @@
 		if b.settings.Limits.SendRetryAfter {
 			retryAfter = b.jitter(min(b.settings.Limits.MaxRetryAfter/2, r.class.Deadline/3), 0.5)
 		}
-		b.emit(Reject{ID: r.ID, RetryAfter: retryAfter})
+		b.emit(Reject{ID: r.ID, RetryAfter: retryAfter, Reason: reason})
 	} else {
-		b.emit(Fail{ID: r.ID})
+		b.emit(Fail{ID: r.ID, Reason: reason})
 	}
 	b.forgetRequest(r)
 }
--- a/cmd/coralrelay/admin.go
+++ b/cmd/coralrelay/admin.go
@@ -8,9 +8,12 @@
 	"sync"
 	"time"
 
+	"coralrelay/balance"
 	"coralrelay/internal/admin"
+	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/downstream"
+	"coralrelay/internal/listlease"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/upstream"
 )
@@ -30,6 +33,7 @@
 	*downstream.Server
 	pool      *upstream.Pool
 	eventLoop *dispatch.EventLoop
+	watcher   *discovery.Watcher
 	metrics   *metrics.Registry
 }
 
@@ -39,9 +43,28 @@
 		OpenSessions:     n.OpenSessions(),
 		ListedEndpoints:  n.pool.EndpointCount(),
 		AvoidedEndpoints: n.eventLoop.AvoidedCount(),
+		List:             n.listMetrics(time.Now()),
+		Rejections:       n.rejections(),
 	})
 }
 
+// listMetrics is what is known of the endpoint list at a time.
+func (n adminNode) listMetrics(now time.Time) metrics.List {
+	list := metrics.List{Age: n.watcher.Status().Age(now)}
+	for outcome := range listlease.OutcomeCount {
+		list.Calls = append(list.Calls, metrics.Count{Name: outcome.String(), Value: n.watcher.CallCount(outcome)})
+	}
+	return list
+}
+
+// rejections are the requests that were given up, by reason.
+func (n adminNode) rejections() (counts []metrics.Count) {
+	for reason := range balance.RejectReasonCount {
+		counts = append(counts, metrics.Count{Name: reason.String(), Value: n.eventLoop.RejectionCount(reason)})
+	}
+	return counts
+}
+
 // LameDuck implements admin.Node.
 func (n adminNode) LameDuck() {
 	now := time.Now()
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -114,6 +114,7 @@
 	clock := dispatch.NewClock()
 	n.watcher.Now = clock.Now
 	n.watcher.Dial = n.pool.DialPlain
+	n.pool.ListStatus = n.watcher.Status
 	n.eventLoop, err = dispatch.New(clock, n.cfg.Seed, n.cfg.Settings, n.pool, n.watcher)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -168,7 +169,8 @@
 	if n.resumption != nil {
 		n.server.Resumptions = n.resumption.factory
 	}
-	operations := adminNode{Server: n.server, pool: n.pool, eventLoop: n.eventLoop, metrics: n.metrics}
+	operations := adminNode{Server: n.server, pool: n.pool, eventLoop: n.eventLoop, watcher: n.watcher,
+		metrics: n.metrics}
 	if err := startAdmin(ctx, &n.goroutines, n.cfg.AdminAddr, operations); err != nil {
 		return err
 	}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -34,40 +35,62 @@
 
 // call is one call to the service, and the watch that it may become.
 type call struct {
+	number         int // from 1, for log lines
 	addr           string
 	fromGeneration int64
+	begunAt        time.Time
 	events         chan<- event
 
 	// The fields below belong to the goroutine of Watcher.Run.
 	cancel          context.CancelFunc
 	reason          callReason
-	listDeadline    time.Time        // for its first list, if the reason is reasonWatchEnded
+	reached         progress         // how far it came
+	headerAt        time.Time        // when its header came
+	listDeadline    time.Time        // for its first list, if that has one
 	overdue         <-chan time.Time // when it is reported as failed though it goes on; nil for never
 	failureReported bool             // it was overdue, or has failed
-	watching        bool             // its first list has come
+	watching        bool             // the list is up to date by it: its first list, or a heartbeat instead, has come
 }
 
 // callReason is why a call is made. It decides for how long its list is awaited.
 type callReason int
 
 const (
-	reasonStart      callReason = iota // the process starts: there is time for a second call
-	reasonWatchEnded                   // or the address has changed: the time since then counts
-	reasonCallFailed                   // the service may have just come back, and have a queue
+	reasonStart          callReason = iota // the process starts: there is time for a second call
+	reasonWatchEnded                       // the time since then counts
+	reasonAddressChanged                   // the same
+	reasonCallFailed                       // the service may have just come back, and have a queue
+	reasonCount
 )
 
-// progress is how far the first message of a call has come.
+var reasonNames = [reasonCount]string{"start", "watch_ended", "address_changed", "call_failed"}
+
+func (r callReason) String() string { return reasonNames[r] }
+
+// hasListDeadline reports whether the time until the first list counts from the call's begin.
+func (r callReason) hasListDeadline() bool { return r == reasonWatchEnded || r == reasonAddressChanged }
+
+// progress is how far a call has come.
 type progress int
 
 const (
-	progressMessage   progress = iota // a complete message, the first or a later one
-	progressHeader                    // the header: a message need not follow, as nothing may change
+	progressNone      progress = iota // it was begun
+	progressConnected                 // its connection is up
+	progressHeader                    // the header has come: a message need not follow, as nothing may change
 	progressFirstByte                 // the first byte of the first message
+	progressHeartbeat                 // an empty line: all changes before it have come
+	progressMessage                   // a complete message, the first or a later one
+	progressCount
 )
 
+var progressNames = [progressCount]string{"none", "connected", "header", "first_byte", "heartbeat", "message"}
+
+func (p progress) String() string { return progressNames[p] }
+
 // event is what a call reports: its progress, a message, or its end, which has an error.
 type event struct {
 	call     *call
+	at       time.Time // when it came; of a message, when its first byte came
 	progress progress
 	date     time.Time // of the header, zero if it has none
 	update   Update
@@ -101,38 +124,50 @@
 	}
 }
 
-// stream makes the call and reports its progress and messages until it ends.
+// report reports progress that was made just now.
+func (c *call) report(ctx context.Context, made progress) {
+	c.send(ctx, event{call: c, at: time.Now(), progress: made})
+}
+
+// stream makes the call and reports its progress and messages until it ends. Its error is a *callError.
 func (c *call) stream(ctx context.Context, dial dialFunc) error {
-	now := time.Now()
-	conn, err := dial(ctx, c.addr, now.Add(responseTimeout))
+	conn, err := dial(ctx, c.addr, c.begunAt.Add(responseTimeout))
 	if err != nil {
-		return err
+		return newDialError(err)
 	}
+	c.report(ctx, progressConnected)
 	watched := &heartbeatConn{Conn: conn}
 	buffered := bufconn.New(watched)
 	defer buffered.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	body, date, err := c.sendRequest(buffered, now.Add(headerTimeout))
+	body, date, err := c.sendRequest(buffered, c.begunAt.Add(headerTimeout))
 	if err != nil {
-		return err
+		return newHeaderError(err)
 	}
 	watched.headerReceived = true
-	c.send(ctx, event{call: c, progress: progressHeader, date: date})
-	reader := &byteReader{body: body, onFirstByte: func() {
-		c.send(ctx, event{call: c, progress: progressFirstByte})
-	}}
+	c.send(ctx, event{call: c, at: time.Now(), progress: progressHeader, date: date})
+	return c.readMessages(ctx, body)
+}
+
+// readMessages reports the messages and heartbeats of the response's body until it ends.
+func (c *call) readMessages(ctx context.Context, body io.Reader) error {
+	reader := &messageReader{
+		body:        body,
+		onFirstByte: func() { c.report(ctx, progressFirstByte) },
+		onHeartbeat: func() { c.report(ctx, progressHeartbeat) },
+	}
 	decoder := json.NewDecoder(reader)
 	for {
 		var decoded message
-		reader.remaining = maxMessageBytes
+		reader.beginMessage()
 		if err := decoder.Decode(&decoded); err != nil {
-			return err
+			return newMessageError(err)
 		}
 		update, err := decoded.update()
 		if err != nil {
-			return err
+			return newMessageError(err)
 		}
-		c.send(ctx, event{call: c, update: update})
+		c.send(ctx, event{call: c, at: reader.messageBegunAt, progress: progressMessage, update: update})
 	}
 }
--- /dev/null
+++ b/internal/discovery/callerror.go
@@ -0,0 +1,66 @@
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"syscall"
+
+	"coralrelay/internal/listlease"
+	"coralrelay/internal/neterr"
+)
+
+// callError is why a call has ended, by what that says of the service.
+type callError struct {
+	outcome listlease.Outcome
+	err     error
+}
+
+func (e *callError) Error() string { return e.err.Error() }
+func (e *callError) Unwrap() error { return e.err }
+
+// outcomeOf is how the call has ended, by its error.
+func (c *call) outcomeOf(err error) listlease.Outcome {
+	outcome := listlease.Reset
+	if failed := (*callError)(nil); errors.As(err, &failed) {
+		outcome = failed.outcome
+	}
+	if c.watching && outcome != listlease.Spoilt {
+		return listlease.WatchEnded
+	}
+	return outcome
+}
+
+// newDialError is the error of a call whose connection did not come up.
+func newDialError(err error) error {
+	switch {
+	case neterr.IsLocal(err):
+		return &callError{listlease.NotMade, err}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return &callError{listlease.ConnectRefused, err}
+	case errors.Is(err, syscall.ECONNRESET):
+		return &callError{listlease.Reset, err}
+	}
+	return &callError{listlease.ConnectTimedOut, err}
+}
+
+// newHeaderError is the error of a call of which no usable header has come.
+func newHeaderError(err error) error {
+	status := (*statusError)(nil)
+	switch {
+	case errors.As(err, &status):
+		return &callError{listlease.Unavailable, err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &callError{listlease.Unanswered, err}
+	}
+	return &callError{listlease.Reset, err}
+}
+
+// newMessageError is the error of a call whose header has come.
+func newMessageError(err error) error {
+	syntax, wrongType, spoilt := (*json.SyntaxError)(nil), (*json.UnmarshalTypeError)(nil), (*messageError)(nil)
+	if errors.As(err, &syntax) || errors.As(err, &wrongType) || errors.As(err, &spoilt) || errors.Is(err, errMessageTooLarge) {
+		return &callError{listlease.Spoilt, err}
+	}
+	return &callError{listlease.Incomplete, err}
+}
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -11,6 +11,13 @@
 	"coralrelay/internal/bufconn"
 )
 
+// statusError is a response with another status than 200.
+type statusError struct{ status string }
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("unexpected response status %.60q", e.status)
+}
+
 // sendRequest sends the request and reads the response's header until the deadline. It returns
 // the response's body, and the header's date, zero if it has none.
 func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (body io.Reader, date time.Time, err error) {
@@ -28,7 +35,7 @@
 	}
 	version, code, _ := strings.Cut(status, " ")
 	if !strings.HasPrefix(version, "HTTP/1.") || !strings.HasPrefix(code, "200") {
-		return nil, date, fmt.Errorf("unexpected response status %.60q", status)
+		return nil, date, &statusError{status: status}
 	}
 	header, err := conn.ReadMIMEHeader()
 	if err != nil {
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -40,6 +39,11 @@
 	Instances  []json.RawMessage `json:"instances"`
 }
 
+// messageError is why a message that is well-formed JSON can't be used.
+type messageError struct{ reason string }
+
+func (e *messageError) Error() string { return "list: " + e.reason }
+
 // instance is the JSON form of an endpoint.
 type instance struct {
 	ID          string `json:"instanceId"`
@@ -69,10 +73,10 @@
 // update converts the message; see Decode.
 func (m *message) update() (Update, error) {
 	if m.Generation == nil {
-		return Update{}, errors.New("list: generation is missing")
+		return Update{}, &messageError{"generation is missing"}
 	}
 	if m.Reset && m.Instances == nil {
-		return Update{}, errors.New("list: instances is missing") // not the same as an empty list
+		return Update{}, &messageError{"instances is missing"} // not the same as an empty list
 	}
 	update := Update{Kind: balance.ListDelta, Generation: *m.Generation}
 	if m.Reset {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -6,10 +6,12 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coralrelay/balance"
 	"coralrelay/internal/audit"
+	"coralrelay/internal/listlease"
 )
 
 // Sink receives the updates of a Watcher in order, on the goroutine of Run.
@@ -36,7 +38,11 @@
 	mu   sync.Mutex
 	addr string
 
+	status     atomic.Pointer[listlease.Status]
+	callCounts [listlease.OutcomeCount]atomic.Int64 // of calls that have ended
+
 	// The fields below belong to Run's goroutine.
+	lastCall       int        // number of the latest call
 	polledAddr     string     // of the latest call
 	lastGeneration int64      // of the last list from there
 	nextReason     callReason // of the next call
@@ -90,6 +96,7 @@
 	defer cancel()
 	cached.Kind = balance.ListCached
 	w.lastGeneration = cached.Generation
+	w.status.Store(&listlease.Status{Generation: cached.Generation})
 	w.starts.convert(w.Now(), &cached, false)
 	w.sink.UpdateEndpoints(cached)
 	for {
@@ -102,7 +109,7 @@
 		case <-pollRequested:
 			w.startCall(ctx)
 		case <-overdue:
-			w.reportFailure(w.calls[len(w.calls)-1], errOverdue)
+			w.reportFailure(w.calls[len(w.calls)-1], "overdue", errOverdue)
 		case reported := <-w.events:
 			w.handleEvent(reported)
 		}
@@ -151,21 +158,25 @@
 	if addr := w.takeAddress(); addr != w.polledAddr {
 		// The generations of two services need not be comparable: polled from the old one's,
 		// the new one might leave changes out.
-		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonWatchEnded
+		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonAddressChanged
 		audit.Count(audit.ReconnectAddressChanged)
 		w.cancelAllBut(nil)
 	}
+	w.lastCall++
 	started := &call{
+		number:         w.lastCall,
 		addr:           w.polledAddr,
 		fromGeneration: w.lastGeneration,
+		begunAt:        time.Now(),
 		events:         w.events,
 		reason:         w.nextReason,
 	}
 	ctx, started.cancel = context.WithCancel(ctx)
-	if started.reason == reasonWatchEnded {
-		started.listDeadline, started.overdue = time.Now().Add(responseTimeout), time.After(responseTimeout)
+	if started.reason.hasListDeadline() {
+		started.listDeadline, started.overdue = started.begunAt.Add(responseTimeout), time.After(responseTimeout)
 	}
 	w.calls = append(w.calls, started)
+	slog.Debug("endpoint list call begun", w.describe(started)...)
 	w.callGroup.Go(func() { started.run(ctx, w.Dial) })
 }
 
@@ -174,65 +185,9 @@
 	w.calls = slices.DeleteFunc(w.calls, func(c *call) bool {
 		if c != kept {
 			c.cancel()
+			w.countCall(listlease.Superseded)
+			slog.Debug("endpoint list call superseded", w.describe(c)...)
 		}
 		return c != kept
 	})
 }
-
-// handleEvent handles an event of a call, unless the call was cancelled since.
-func (w *Watcher) handleEvent(reported event) {
-	index := slices.Index(w.calls, reported.call)
-	if index < 0 {
-		return
-	}
-	switch c := reported.call; {
-	case reported.err != nil:
-		c.cancel()
-		w.calls = slices.Delete(w.calls, index, index+1)
-		w.reportFailure(c, reported.err)
-	case reported.progress == progressHeader:
-		c.overdue = nil
-		if !reported.date.IsZero() {
-			w.starts.skew.observeDate(w.Now(), reported.date)
-		}
-	case reported.progress == progressFirstByte && c.reason == reasonWatchEnded:
-		c.overdue = time.After(time.Until(c.listDeadline))
-	case reported.progress == progressFirstByte:
-		if c.reason == reasonCallFailed {
-			c.overdue = time.After(responseTimeout)
-		}
-	default:
-		w.starts.convert(w.Now(), &reported.update, c.watching)
-		w.cancelAllBut(c)
-		c.overdue, c.failureReported, c.watching = nil, false, true
-		w.lastGeneration, w.nextReason = reported.update.Generation, reasonWatchEnded
-		w.sink.UpdateEndpoints(reported.update)
-	}
-}
-
-// reportFailure reports that a call has failed, once for each call. Whoever receives the report
-// decides when to poll again; a poll that was requested before is void, or two calls would follow
-// one another without a pause.
-func (w *Watcher) reportFailure(c *call, err error) {
-	if c.failureReported {
-		return
-	}
-	c.failureReported = true
-	reconnectReason := audit.ReconnectWatchEnded
-	if !c.watching {
-		w.nextReason = reasonCallFailed
-		reconnectReason = audit.ReconnectCallFailed
-	}
-	audit.Count(reconnectReason)
-	w.discardPollRequest()
-	slog.Warn("endpoint list watch ended", "component", "discovery", "address", c.addr, "error", err)
-	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration})
-}
-
-// discardPollRequest voids a requested poll.
-func (w *Watcher) discardPollRequest() {
-	select {
-	case <-w.pollRequested:
-	default:
-	}
-}
--- a/internal/dispatch/active.go
+++ b/internal/dispatch/active.go
@@ -43,6 +43,15 @@
 	return active
 }
 
+// giveUp ends a placement that the module has given up for a reason; see remove.
+func (l *EventLoop) giveUp(id, ending string, reason balance.RejectReason) *activePlacement {
+	if active := l.placements[id]; active != nil {
+		l.rejections[reason].Add(1)
+		active.trace.giveUpReason(reason)
+	}
+	return l.remove(id, ending)
+}
+
 // moduleRequest is the request as the module takes it. A route's constraint takes the place
 // of the request's own.
 func (l *EventLoop) moduleRequest(active *activePlacement) balance.Request {
--- a/internal/dispatch/eventloop.go
+++ b/internal/dispatch/eventloop.go
@@ -38,6 +38,7 @@
 	done           chan struct{} // closed when Run has ended
 	rejectedLog    logging.Throttled
 	avoidedServers atomic.Int64 // refreshed every avoidedRefreshInterval
+	rejections     [balance.RejectReasonCount]atomic.Int64
 
 	// The fields below belong to Run's goroutine.
 	knownClasses    map[string]bool
@@ -134,11 +135,11 @@
 	case balance.Attempt:
 		l.startAttempt(now, a)
 	case balance.Reject:
-		if active := l.remove(a.ID, "rejected"); active != nil {
+		if active := l.giveUp(a.ID, "rejected", a.Reason); active != nil {
 			active.placement.Reject(a.RetryAfter)
 		}
 	case balance.Fail:
-		if active := l.remove(a.ID, "failed"); active != nil {
+		if active := l.giveUp(a.ID, "failed", a.Reason); active != nil {
 			active.placement.Fail()
 		}
 	case balance.Migrate:
--- a/internal/dispatch/module.go
+++ b/internal/dispatch/module.go
@@ -18,6 +18,11 @@
 // avoidedRefreshInterval. It does not wait for Run.
 func (l *EventLoop) AvoidedCount() int { return int(l.avoidedServers.Load()) }
 
+// RejectionCount is how many requests the module has given up for a reason. It does not wait for Run.
+func (l *EventLoop) RejectionCount(reason balance.RejectReason) int64 {
+	return l.rejections[reason].Load()
+}
+
 // ExportLearnedState returns what the module has learned, for the process that takes over. It
 // waits for Run.
 func (l *EventLoop) ExportLearnedState() balance.LearnedState {
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -25,6 +25,7 @@
 type trace struct {
 	startedAt time.Time
 	attempts  []string // server, when it was chosen, and what became of it
+	reason    string   // why it was given up; empty if it was not
 }
 
 // newTrace returns a trace, nil where debug lines are off.
@@ -50,6 +51,13 @@
 	}
 }
 
+// giveUpReason notes why the placement was given up.
+func (t *trace) giveUpReason(reason balance.RejectReason) {
+	if t != nil {
+		t.reason = reason.String()
+	}
+}
+
 // log writes the line.
 func (t *trace) log(request *Request, ending string) {
 	if t == nil {
@@ -58,7 +66,7 @@
 	slog.Debug("placement ended", "component", "dispatch", "id", request.ID, "class", request.Class,
 		"group", request.Group, "retry", request.Retry || request.Returned,
 		"time_left", time.Until(request.Deadline).Round(time.Millisecond),
-		"attempts", t.attempts, "outcome", ending, "duration", t.elapsed())
+		"attempts", t.attempts, "outcome", ending, "reason", t.reason, "duration", t.elapsed())
 }
 
 // elapsed is the time since the placement was submitted.
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		if len(lines) != 1 || strings.Index(lines[0], "connect failed") > strings.Index(lines[0], "reset") ||
-			!strings.Contains(lines[0], `"outcome": "rejected"`) {
+			!strings.Contains(lines[0], `"outcome": "rejected", "reason": "repeat_harmful"`) {
 			t.Errorf("lines of one placement: %q", lines)
 		}
 	}
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Types of a metric in the text, as in statsd.
@@ -105,6 +106,20 @@
 	OpenSessions     int
 	ListedEndpoints  int
 	AvoidedEndpoints int // listed, and left out of all or most draws
+	List             List
+	Rejections       []Count // requests that were given up, by reason
+}
+
+// List is what is known of the endpoint list.
+type List struct {
+	Age   time.Duration // since it was last confirmed; negative if it never was
+	Calls []Count       // calls of discovery that have ended, by outcome
+}
+
+// Count is one of several counts of a kind.
+type Count struct {
+	Name  string
+	Value int64
 }
 
 // Text formats all metrics, one a line, each line with its end.
@@ -128,6 +143,13 @@
 	write("out_of_rotation", int64(gauges.AvoidedEndpoints), gauge)
 	write("cfg_accepted", r.ConfigsAccepted.Load(), counter)
 	write("cfg_invalid", r.ConfigsRejected.Load(), counter)
+	write("registry_age_ms", gauges.List.Age.Milliseconds(), gauge)
+	for _, calls := range gauges.List.Calls {
+		write("registry_calls."+calls.Name, calls.Value, counter)
+	}
+	for _, rejections := range gauges.Rejections {
+		write("rejections."+rejections.Name, rejections.Value, counter)
+	}
 	return text.String()
 }
 
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 func TestTextListsCountersAndGauges(t *testing.T) {
@@ -32,8 +33,16 @@
 balancer.out_of_rotation:2|g
 balancer.cfg_accepted:1|c
 balancer.cfg_invalid:2|c
+balancer.registry_age_ms:1250|g
+balancer.registry_calls.reset:3|c
+balancer.rejections.no_server:4|c
 `, "\n", "\r\n")
-	if got := b.Text(Gauges{OpenSessions: 14, ListedEndpoints: 5, AvoidedEndpoints: 2}); got != want {
+	gauges := Gauges{
+		OpenSessions: 14, ListedEndpoints: 5, AvoidedEndpoints: 2,
+		List:       List{Age: 1250 * time.Millisecond, Calls: []Count{{"reset", 3}}},
+		Rejections: []Count{{"no_server", 4}},
+	}
+	if got := b.Text(gauges); got != want {
 		t.Errorf("got:\n%s", got)
 	}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"time"
 
@@ -117,6 +118,7 @@
 		return failedAttempt(balance.ConnectFailed) // its last byte was not written
 	}
 	a.auditSent(time.Now())
+	a.logSent()
 	a.session.Metrics.Forwarded()
 	text, err := conn.ReadTextLineBefore(a.deadline)
 	switch {
@@ -154,6 +156,16 @@
 	}
 }
 
+// logSent writes the debug line of an attempt that was sent: by which list its endpoint was chosen.
+func (a *attempt) logSent() {
+	if !slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	list := a.pool.listStatus()
+	slog.Debug("attempt sent", "component", "upstream", "id", a.session.ID, "endpoint", a.endpoint.id,
+		"list_generation", list.Generation, "list_age_ms", list.Age(time.Now()).Milliseconds())
+}
+
 // handleReply turns the endpoint's reply into the result. On UP the connection goes to the
 // session, unless that has ended.
 func (a *attempt) handleReply(conn *bufconn.Conn, stop func() bool, text []byte) attemptResult {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"coralrelay/balance"
 	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
+	"coralrelay/internal/listlease"
 	"coralrelay/internal/logging"
 	"coralrelay/internal/neterr"
 	"coralrelay/internal/sysfault"
@@ -37,6 +38,9 @@
 	// Dial connects to an address by a deadline, over TCP unless a test replaces it. Set
 	// before anything is started.
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
+	// ListStatus is what is known now of the endpoint list, by which endpoints are used. Set before
+	// anything is started; nil where nobody follows a list.
+	ListStatus func() listlease.Status
 
 	ctx          context.Context // ends every probe and its connection
 	probeConns   *probeConns
@@ -128,6 +132,14 @@
 	return p.endpoints[id]
 }
 
+// listStatus is what is known now of the endpoint list.
+func (p *Pool) listStatus() listlease.Status {
+	if p.ListStatus == nil {
+		return listlease.Status{}
+	}
+	return p.ListStatus()
+}
+
 // Address is where an endpoint is, empty if it is not known.
 func (p *Pool) Address(server string) string {
 	if endpoint := p.lookup(server); endpoint != nil {
