A list that discovery does not confirm is relied on for a lease of 6 s, and no longer

Cause: no form of trouble at discovery ended the use of an old list (drain incident): a change counts as notified 6 s after discovery had it and could be reached, whether or not it came, and nothing in the node counted those 6 s. Second cause, of the refusals beside it: 300 nodes that paused for 1 s after a 503 kept discovery busy with calls that had waited too long. Change: internal/listlease, a pure module, takes each piece of evidence (list, heartbeat, end of each call, reload, start) and says until when the list may be relied on; lifecycle asks it before each first byte, UDP before a flow is bound, the module answers what waits at once and migrates nothing. Evidence that discovery is down extends it. A starved call keeps its place for 7 s with a second one beside it. Changes to an older list are dropped. A service that answers 503 is called again after up to 1.9 s in large fleets.

--- a/balance/actions.go
+++ b/balance/actions.go
@@ -22,6 +22,7 @@
 const (
 	NotAdmitted       RejectReason = iota // admission was closed for as long as it may wait
 	OutOfTime                             // its time is over
+	ListExpired                           // the server list may not be relied on
 	NoServer                              // no ready server may take it
 	AttemptsUsedUp                        // it has had all its attempts
 	RepeatHarmful                         // it may have run, and must not be repeated
@@ -30,7 +31,7 @@
 	RejectReasonCount                     // how many reasons there are
 )
 
-var rejectReasonNames = [RejectReasonCount]string{"not_admitted", "out_of_time", "no_server", "attempts_used_up",
+var rejectReasonNames = [RejectReasonCount]string{"not_admitted", "out_of_time", "list_expired", "no_server", "attempts_used_up",
 	"repeat_harmful", "over_quota", "constraint_full"}
 
 // String returns the reason as it stands in log lines and metrics.
--- a/balance/admission.go
+++ b/balance/admission.go
@@ -69,12 +69,16 @@
 	return cmp.Or(r.class.LatencyObjective, r.class.Deadline)
 }
 
-// isUnplaceable reports whether r has no attempt left, or may be sent to no ready server, and which. Then
+// isUnplaceable reports whether r has no attempt left, the list may not be relied on, or r may be sent to
+// no ready server, and which. Then
 // it is answered at once: to wait for another server would only keep its client from asking again. Before
 // the first list servers may still come, unless r's constraint allows none.
 func (b *Balancer) isUnplaceable(r *request) (reason RejectReason, yes bool) {
-	if r.attemptCount >= b.settings.Limits.MaxAttempts {
+	switch {
+	case r.attemptCount >= b.settings.Limits.MaxAttempts:
 		return AttemptsUsedUp, true
+	case b.isListExpired():
+		return ListExpired, true
 	}
 	allowsNoZone := r.Constraint != nil && len(r.Constraint.Zones) == 0 && r.Constraint.DefaultShare == 0
 	noneIsAllowed := (b.subscription.listReceived || allowsNoZone) &&
--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -14,6 +14,11 @@
 	minSubscribeBackoff, maxSubscribeBackoff = time.Second / 8, time.Second
 	// subscribeSpacing is what one of the calls of all instances at one moment takes.
 	subscribeSpacing = time.Second / 300
+	// busySpacing is the same of a list service that has no time for its calls, and maxBusyBackoff the
+	// longest pause for it. Called sooner by all instances it is kept busy with calls that have waited too
+	// long: docs/incidents/2026-12-02-stale-endpoint-list.md.
+	busySpacing    = 2 * subscribeSpacing
+	maxBusyBackoff = 1900 * time.Millisecond
 )
 
 // startSubscription treats a start, which may be that of all instances, as a subscription that has
@@ -21,7 +26,7 @@
 func (b *Balancer) startSubscription() {
 	if b.settings.Instances > 1 && !b.settings.SubscribeImmediately {
 		b.subscription.active = true
-		b.scheduleSubscribe()
+		b.scheduleSubscribe(false)
 	}
 	b.subscribeIfDue()
 }
@@ -38,14 +43,15 @@
 // scheduleSubscribe sets the time of the next call, as a call or the subscription has failed. A
 // subscription that has ended is no list service that is down: the next call follows at once, unless
 // the subscription had just begun. The backoff is for calls. However long they have failed, two fit
-// into the time after which all that a list has to report counts as reported once it is back.
-func (b *Balancer) scheduleSubscribe() {
+// into the time after which all that a list has to report counts as reported once it is back. isBusy is
+// set if the service had no time for the call.
+func (b *Balancer) scheduleSubscribe(isBusy bool) {
 	others := time.Duration(b.settings.Instances - 1)
 	spread := b.jitter(min(others*subscribeSpacing, maxSubscribeBackoff)/2, 1)
 	pause := max(spread, b.subscription.nextCallAt-b.now)
 	if !b.subscription.active {
 		backoff := minSubscribeBackoff << min(2*b.subscription.failures, 16)
-		pause = b.jitter(min(backoff, maxSubscribeBackoff), 0.25)
+		pause = b.jitter(min(backoff, b.longestBackoff(isBusy)), 0.25)
 		b.subscription.failures++
 	}
 	b.subscription.active = false
@@ -53,9 +59,17 @@
 	b.emit(SetTimer{Delay: pause + b.settings.Tick})
 }
 
+// longestBackoff is the longest pause between two calls.
+func (b *Balancer) longestBackoff(isBusy bool) time.Duration {
+	if !isBusy {
+		return maxSubscribeBackoff
+	}
+	return min(max(time.Duration(b.settings.Instances)*busySpacing, maxSubscribeBackoff), maxBusyBackoff)
+}
+
 func (b *Balancer) handleListUpdate(e ListUpdate) {
 	if e.Kind == ListFailed {
-		b.scheduleSubscribe()
+		b.scheduleSubscribe(e.IsBusy)
 		return
 	}
 	if e.Kind != ListCached && !b.subscription.active {
--- a/balance/events.go
+++ b/balance/events.go
@@ -67,6 +67,13 @@
 type ListUpdate struct {
 	Kind    ListKind
 	Entries []ServerEntry
+	IsBusy  bool // of a ListFailed: the list service had no time for the call
+}
+
+// ListLease says until when the server list may be relied on. It replaces an earlier one; without one the
+// list may always be relied on.
+type ListLease struct {
+	ExpiresAt time.Duration // 0 for never
 }
 
 // Request is a new connection that wants a server. It is owed one final answer.
@@ -144,6 +151,7 @@
 
 func (QuotaLease) event()            {}
 func (ListUpdate) event()            {}
+func (ListLease) event()             {}
 func (InheritedState) event()        {}
 func (SettingsChanged) event()       {}
 func (Request) event()               {}
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -47,6 +47,8 @@
 	switch e := event.(type) {
 	case ListUpdate:
 		b.handleListUpdate(e)
+	case ListLease:
+		b.handleListLease(e)
 	case Request:
 		b.handleRequest(e)
 	case OpenConnection:
@@ -123,6 +125,7 @@
 
 // maintain does what has to be done again and again.
 func (b *Balancer) maintain() {
+	b.endListLease()
 	b.admitQueued()
 	b.subscribeIfDue()
 	if b.now < b.nextMaintenanceAt {
--- a/balance/rebalance.go
+++ b/balance/rebalance.go
@@ -48,6 +48,9 @@
 	if len(s.connections) == 0 || b.now < s.nextRebalanceAt || s.reportedLoad < threshold {
 		return
 	}
+	if b.isListExpired() {
+		return // those who come again would be rejected
+	}
 	b.refillMigrationBudget()
 	target := max(rebalanceTarget, min(mean, rebalanceThreshold))
 	share := 1 - target/s.reportedLoad
--- a/balance/settings.go
+++ b/balance/settings.go
@@ -16,6 +16,7 @@
 	SubscribeRequired    bool          // the server list comes only after a Subscribe
 	SubscribeTimeout     time.Duration // a Subscribe without an answer is repeated after this, 1 s at least
 	SubscribeImmediately bool          // this instance starts alone and need not spread its first call
+	ListPushed           bool          // the list service tells changes by itself; whoever holds the list's lease goes by it
 	Processes            int           // that place for this instance, each by itself; 0 means 1
 	Rules                Rules
 	Limits               Limits
--- a/balance/state.go
+++ b/balance/state.go
@@ -70,6 +70,8 @@
 	listReceived bool // a list has come since the start
 	failures     int  // calls that failed in a row
 	nextCallAt   time.Duration
+	leaseEndsAt  time.Duration // when the list may not be relied on any more; 0 for never
+	leaseEnded   bool          // that was acted on
 }
 
 // server is what this instance knows of a server.
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -15,6 +15,7 @@
 	"coralrelay/internal/downstream"
 	"coralrelay/internal/hotrestart"
 	"coralrelay/internal/instancelock"
+	"coralrelay/internal/listlease"
 	"coralrelay/internal/logging"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/operatorconfig"
@@ -115,6 +116,7 @@
 	n.watcher.Now = clock.Now
 	n.watcher.Dial = n.pool.DialPlain
 	n.pool.ListStatus = n.watcher.Status
+	n.watcher.OnLease = func(status listlease.Status) { n.eventLoop.UpdateListLease(status.ExpiresAt) }
 	n.eventLoop, err = dispatch.New(clock, n.cfg.Seed, n.cfg.Settings, n.pool, n.watcher)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/internal/audit/reason.go
+++ b/internal/audit/reason.go
@@ -34,6 +34,7 @@
 	RefuseAttemptAnswered   // an attempt was not made: the request has its answer
 	RefuseAttemptOut        // an attempt was not made: another one is out
 	RefuseAttemptLate       // an attempt was not made: its time, or the retry window, is over
+	RefuseAttemptStale      // an attempt was not made: the endpoint list may not be relied on
 	RefuseAttemptDraining   // an attempt was not made: the endpoint drains or is gone
 	RefuseRequestDraining   // a request was rejected: the node drains
 	RefuseRequestCapacity   // a request was rejected: all sockets are in use
@@ -57,7 +58,7 @@
 	"retry_at_capacity", "retry_connect_failed", "retry_not_sent", "retry_errored",
 	"attempt_timed_out", "attempt_reset", "attempt_cancelled",
 	"refuse_attempt_client_left", "refuse_attempt_answered", "refuse_attempt_out", "refuse_attempt_late",
-	"refuse_attempt_draining", "refuse_request_draining", "refuse_request_capacity", "refuse_request_left",
+	"refuse_attempt_stale", "refuse_attempt_draining", "refuse_request_draining", "refuse_request_capacity", "refuse_request_left",
 	"eject_probe_timed_out", "eject_probe_connect_failed", "eject_probe_reset", "eject_probe_errored",
 	"reconnect_watch_ended", "reconnect_call_failed", "reconnect_address_changed",
 }
@@ -90,6 +91,7 @@
 		lifecycle.AttemptOut:       RefuseAttemptOut,
 		lifecycle.DeadlinePassed:   RefuseAttemptLate,
 		lifecycle.EndpointDraining: RefuseAttemptDraining,
+		lifecycle.ListExpired:      RefuseAttemptStale,
 	}
 	requestRefusals = map[lifecycle.Refusal]Reason{
 		lifecycle.ClientHasLeft: RefuseRequestLeft,
--- a/internal/audit/violation.go
+++ b/internal/audit/violation.go
@@ -14,6 +14,7 @@
 	ImpossibleTransition Violation = iota // an event came in a state in which it can't happen
 	SecondAttemptOut                      // an attempt began while another one was out
 	SentWhileDraining                     // the first line was written too long after a drain was known
+	SentByExpiredList                     // the first line was written too long after the list's lease had ended
 	SentTooLate                           // the first line was written after the attempt's deadline
 	ClosedUnanswered                      // the connection of an unanswered request was closed
 	AnsweredTooLate                       // the final answer was written after the client's time was over
@@ -21,7 +22,7 @@
 )
 
 var violationNames = [violationCount]string{"impossible transition", "second attempt out", "sent while draining",
-	"sent too late", "closed unanswered", "answered too late"}
+	"sent by expired list", "sent too late", "closed unanswered", "answered too late"}
 
 // String returns the kind as it stands in log lines.
 func (v Violation) String() string { return violationNames[v] }
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -24,11 +24,14 @@
 	// the next call is made beside it. A connection request that is resent after a second is
 	// established within it.
 	responseTimeout = 1100 * time.Millisecond
-	// headerTimeout limits the time until the response's header has come. The service handles
-	// one call at a time and itself ends the others (protocol page): as long as it lets them
-	// wait, 1 s at one known site and 3 s at another, nothing is won by going to the end of its
-	// queue. No setting says how long.
-	headerTimeout = 3100 * time.Millisecond
+	// queueTimeout limits the time until the response's header has come, until the next call is made
+	// beside it. The service handles one call at a time and itself ends the others (protocol page): as
+	// long as it lets them wait, 1 s at one known site and 3 s at another, nothing is won by going to
+	// the end of its queue. No setting says how long.
+	queueTimeout = 3100 * time.Millisecond
+	// headerTimeout limits the time until the response's header has come: a call keeps its place in the
+	// queue that long, while another one is made beside it.
+	headerTimeout = 7 * time.Second
 	// maxMessageBytes is the largest message that is read.
 	maxMessageBytes = 8 << 20
 )
@@ -99,6 +102,7 @@
 
 var (
 	errOverdue         = errors.New("overdue: no response, or an incomplete list")
+	errOlderList       = errors.New("changes to a list older than the one held")
 	errMessageTooLarge = fmt.Errorf("message of more than %d bytes", maxMessageBytes)
 )
 
--- a/internal/discovery/callerror.go
+++ b/internal/discovery/callerror.go
@@ -25,10 +25,13 @@
 	if failed := (*callError)(nil); errors.As(err, &failed) {
 		outcome = failed.outcome
 	}
-	if c.watching && outcome != listlease.Spoilt {
-		return listlease.WatchEnded
+	switch {
+	case !c.watching || outcome == listlease.Spoilt:
+		return outcome
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return listlease.WatchSilent
 	}
-	return outcome
+	return listlease.WatchEnded
 }
 
 // newDialError is the error of a call whose connection did not come up.
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -16,15 +16,12 @@
 
 // handleEvent handles an event of a call, unless the call was cancelled since.
 func (w *Watcher) handleEvent(reported event) {
-	index := slices.Index(w.calls, reported.call)
-	if index < 0 {
+	if !slices.Contains(w.calls, reported.call) {
 		return
 	}
 	c := reported.call
 	if reported.err != nil {
-		c.cancel()
-		w.calls = slices.Delete(w.calls, index, index+1)
-		w.handleEnd(c, reported.err)
+		w.endCall(c, reported.err)
 		return
 	}
 	c.reached = max(c.reached, reported.progress)
@@ -39,7 +36,7 @@
 	case progressHeartbeat:
 		w.handleHeartbeat(c, reported.at)
 	case progressMessage:
-		w.handleMessage(c, reported.at, reported.update)
+		w.handleMessage(c, reported)
 	}
 }
 
@@ -67,13 +64,23 @@
 	w.confirmList(at)
 }
 
-// handleMessage takes a complete list, or changes to it.
-func (w *Watcher) handleMessage(c *call, begunAt time.Time, update Update) {
+// handleMessage takes a complete list, or changes to it. Changes to a list that is older than the one held are
+// dropped, and their call ends.
+func (w *Watcher) handleMessage(c *call, reported event) {
+	update := reported.update
+	if update.Generation < w.lastGeneration {
+		slog.Warn("endpoint list went back", w.describe(c, "offered_generation", update.Generation,
+			"reset", update.Kind == balance.ListFull)...)
+		if update.Kind != balance.ListFull {
+			w.endCall(c, &callError{listlease.Spoilt, errOlderList})
+			return
+		}
+	}
 	w.starts.convert(w.Now(), &update, c.watching)
 	w.becomeWatch(c)
 	w.lastGeneration = update.Generation
 	w.sink.UpdateEndpoints(update)
-	w.confirmList(begunAt)
+	w.confirmList(reported.at)
 }
 
 // becomeWatch marks the call as the one whose watch is followed; the others end.
@@ -83,21 +90,25 @@
 	w.nextReason = reasonWatchEnded
 }
 
-// handleEnd takes the end of a call, and reports it as a failure unless that was done.
-func (w *Watcher) handleEnd(c *call, err error) {
+// endCall ends a call, and reports it as a failure unless that was done.
+func (w *Watcher) endCall(c *call, err error) {
+	c.cancel()
+	w.calls = slices.DeleteFunc(w.calls, func(other *call) bool { return other == c })
 	outcome := c.outcomeOf(err)
 	w.countCall(outcome)
+	w.lease.CallEnded(listlease.Call{BegunAt: c.begunAt, EndedAt: time.Now(), Outcome: outcome})
+	w.publishLease()
 	if c.failureReported {
 		slog.Info("endpoint list call ended after it was overdue", w.describe(c, "outcome", outcome.String(), "error", err)...)
 		return
 	}
-	w.reportFailure(c, outcome.String(), err)
+	w.reportFailure(c, outcome.String(), err, outcome.IsBusy())
 }
 
 // reportFailure reports that a call has failed, once for each call. Whoever receives the report
 // decides when to poll again; a poll that was requested before is void, or two calls would follow
-// one another without a pause.
-func (w *Watcher) reportFailure(c *call, outcome string, err error) {
+// one another without a pause. isBusy is set if the service had no time for the call.
+func (w *Watcher) reportFailure(c *call, outcome string, err error, isBusy bool) {
 	c.failureReported = true
 	reconnectReason := audit.ReconnectWatchEnded
 	if !c.watching {
@@ -107,7 +118,7 @@
 	audit.Count(reconnectReason)
 	w.discardPollRequest()
 	slog.Warn("endpoint list watch ended", w.describe(c, "outcome", outcome, "error", err)...)
-	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration})
+	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration, IsBusy: isBusy})
 }
 
 // discardPollRequest voids a requested poll.
@@ -118,19 +129,6 @@
 	}
 }
 
-// confirmList notes that the list in use was the service's at a time.
-func (w *Watcher) confirmList(at time.Time) {
-	w.status.Store(&listlease.Status{Generation: w.lastGeneration, ConfirmedAt: at})
-}
-
-// Status is what is known of the list now. It may be called from any goroutine.
-func (w *Watcher) Status() listlease.Status {
-	if status := w.status.Load(); status != nil {
-		return *status
-	}
-	return listlease.Status{}
-}
-
 // countCall counts a call that has ended.
 func (w *Watcher) countCall(outcome listlease.Outcome) { w.callCounts[outcome].Add(1) }
 
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -29,6 +29,9 @@
 	Dial func(ctx context.Context, addr string, deadline time.Time) (net.Conn, error)
 	// Now is the clock that the starts of endpoints are converted to. Set before Run.
 	Now func() time.Time
+	// OnLease is called on the goroutine of Run with what the list's lease says, whenever that may have
+	// changed, and after the Sink has the list that it is of. Set before Run; nil for nobody.
+	OnLease func(status listlease.Status)
 
 	sink           Sink
 	pollRequested  chan struct{} // holds one if a poll is wanted
@@ -38,8 +41,10 @@
 	mu   sync.Mutex
 	addr string
 
-	status     atomic.Pointer[listlease.Status]
-	callCounts [listlease.OutcomeCount]atomic.Int64 // of calls that have ended
+	terms        atomic.Pointer[listlease.Terms]
+	termsChanged chan struct{} // holds one if terms has changed
+	status       atomic.Pointer[listlease.Status]
+	callCounts   [listlease.OutcomeCount]atomic.Int64 // of calls that have ended
 
 	// The fields below belong to Run's goroutine.
 	lastCall       int        // number of the latest call
@@ -49,6 +54,9 @@
 	starts         startDates
 	calls          []*call // under way, at most two; all but the last are reported as failed
 	callGroup      sync.WaitGroup
+	lease          *listlease.Lease
+	expiry         *time.Timer // of the lease, and of further lines about it
+	expiredSince   time.Time   // when the lease ended; zero while it lasts, or before that was noticed
 }
 
 // New returns a Watcher of the discovery service at addr; Run starts it.
@@ -60,6 +68,7 @@
 		sink:           sink,
 		pollRequested:  make(chan struct{}, 1),
 		addressChanged: make(chan struct{}, 1),
+		termsChanged:   make(chan struct{}, 1),
 		events:         make(chan event),
 		addr:           addr,
 		polledAddr:     addr,
@@ -96,7 +105,9 @@
 	defer cancel()
 	cached.Kind = balance.ListCached
 	w.lastGeneration = cached.Generation
-	w.status.Store(&listlease.Status{Generation: cached.Generation})
+	w.expiry = time.NewTimer(listlease.NotifyDelay)
+	defer w.expiry.Stop()
+	w.startLease(cached)
 	w.starts.convert(w.Now(), &cached, false)
 	w.sink.UpdateEndpoints(cached)
 	for {
@@ -109,7 +120,12 @@
 		case <-pollRequested:
 			w.startCall(ctx)
 		case <-overdue:
-			w.reportFailure(w.calls[len(w.calls)-1], "overdue", errOverdue)
+			w.reportFailure(w.calls[len(w.calls)-1], "overdue", errOverdue, false)
+		case <-w.termsChanged:
+			w.lease.SetTerms(w.currentTerms())
+			w.publishLease()
+		case <-w.expiry.C:
+			w.logExpired()
 		case reported := <-w.events:
 			w.handleEvent(reported)
 		}
@@ -159,6 +175,8 @@
 		// The generations of two services need not be comparable: polled from the old one's,
 		// the new one might leave changes out.
 		w.polledAddr, w.lastGeneration, w.nextReason = addr, 0, reasonAddressChanged
+		w.lease.ChangeAddress(time.Now())
+		w.publishLease()
 		audit.Count(audit.ReconnectAddressChanged)
 		w.cancelAllBut(nil)
 	}
@@ -174,6 +192,8 @@
 	ctx, started.cancel = context.WithCancel(ctx)
 	if started.reason.hasListDeadline() {
 		started.listDeadline, started.overdue = started.begunAt.Add(responseTimeout), time.After(responseTimeout)
+	} else {
+		started.overdue = time.After(queueTimeout)
 	}
 	w.calls = append(w.calls, started)
 	slog.Debug("endpoint list call begun", w.describe(started)...)
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -1,6 +1,21 @@
 package dispatch
 
-import "coralrelay/balance"
+import (
+	"time"
+
+	"coralrelay/balance"
+)
+
+// UpdateListLease reports until when the endpoint list may be relied on; the zero time is for ever.
+func (l *EventLoop) UpdateListLease(expiresAt time.Time) {
+	l.post(func() {
+		lease := balance.ListLease{}
+		if !expiresAt.IsZero() {
+			lease.ExpiresAt = l.clock.At(expiresAt)
+		}
+		l.handle(lease)
+	})
+}
 
 // UpdateEndpoints reports what discovery has said of the endpoint list.
 func (l *EventLoop) UpdateEndpoints(update balance.ListUpdate) {
--- a/internal/lifecycle/machine.go
+++ b/internal/lifecycle/machine.go
@@ -1,6 +1,10 @@
 package lifecycle
 
-import "time"
+import (
+	"time"
+
+	"coralrelay/internal/listlease"
+)
 
 // Machine is the life of one session.
 type Machine struct {
@@ -40,10 +44,11 @@
 
 // Attempt is what is known of an attempt right before its first byte is written.
 type Attempt struct {
-	Deadline         time.Time // for its answer, or the end of the time in which a repeat does no harm
-	ClientHasLeft    bool      // as the client's socket says now
-	EndpointDraining bool      // the endpoint is known to drain or to be gone
-	Reattach         bool      // the endpoint holds the session already: that it drains does not matter
+	Deadline         time.Time        // for its answer, or the end of the time in which a repeat does no harm
+	ClientHasLeft    bool             // as the client's socket says now
+	EndpointDraining bool             // the endpoint is known to drain or to be gone
+	Reattach         bool             // the endpoint holds the session already: that it drains does not matter
+	List             listlease.Status // of the list by which the endpoint was chosen
 }
 
 // MayAttempt is asked right before the first byte of an attempt is written, with the time as it is
@@ -56,8 +61,12 @@
 		return AlreadyAnswered
 	case !now.Before(attempt.Deadline):
 		return DeadlinePassed
-	case attempt.EndpointDraining && !attempt.Reattach:
+	case attempt.Reattach:
+		return None
+	case attempt.EndpointDraining:
 		return EndpointDraining
+	case !attempt.List.MayRely(now):
+		return ListExpired
 	}
 	return None
 }
--- a/internal/lifecycle/refusal.go
+++ b/internal/lifecycle/refusal.go
@@ -11,6 +11,7 @@
 	AttemptOut               // another attempt is out
 	DeadlinePassed           // the time for the answer, or for a repeat of the request, is over
 	EndpointDraining         // the endpoint is known to drain or to be gone
+	ListExpired              // the list that names the endpoint may not be relied on
 	MayHaveRun               // the request may have run, and must not be repeated
 	NotEstablished           // there is nothing to migrate or to hand over
 	AlreadyMigrating         // the client is to be sent MOVE already
@@ -23,7 +24,7 @@
 )
 
 var refusalNames = [refusalCount]string{"none", "already answered", "client has left", "attempt out",
-	"deadline passed", "endpoint draining", "may have run", "not established", "already migrating",
+	"deadline passed", "endpoint draining", "list expired", "may have run", "not established", "already migrating",
 	"successor decides", "unanswered", "node draining", "evicted", "no capacity"}
 
 // String returns the refusal as it stands in log lines.
--- a/internal/listlease/outcome.go
+++ b/internal/listlease/outcome.go
@@ -7,7 +7,8 @@
 
 // The outcomes of a call.
 const (
-	WatchEnded      Outcome = iota // a watch that had confirmed the list ended or fell silent
+	WatchEnded      Outcome = iota // a watch that had confirmed the list was ended by the other side
+	WatchSilent                    // a watch that had confirmed the list fell silent
 	ConnectRefused                 // nobody listens
 	ConnectTimedOut                // the connection never came up
 	NotMade                        // not made for a reason of this process, such as no descriptor
@@ -20,12 +21,15 @@
 	OutcomeCount                   // how many outcomes there are
 )
 
-var outcomeNames = [OutcomeCount]string{"watch_ended", "connect_refused", "connect_timed_out", "not_made",
+var outcomeNames = [OutcomeCount]string{"watch_ended", "watch_silent", "connect_refused", "connect_timed_out", "not_made",
 	"unavailable", "reset", "unanswered", "incomplete", "spoilt", "superseded"}
 
 // String returns the outcome as it stands in log lines and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
+// IsBusy reports whether the service said that it had no time for the call.
+func (o Outcome) IsBusy() bool { return o == Unavailable }
+
 // Call is a call of discovery that has ended.
 type Call struct {
 	BegunAt, EndedAt time.Time
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -192,7 +192,7 @@
 func ForWatch(s balance.Settings) balance.Settings {
 	s.SubscribeTimeout = cmp.Or(s.SubscribeTimeout, defaultSubscribeTimeout)
 	if !s.SubscribeRequired {
-		s.SubscribeRequired, s.SubscribeImmediately = true, true
+		s.SubscribeRequired, s.SubscribeImmediately, s.ListPushed = true, true, true
 	}
 	return s
 }
--- a/internal/udp/fakes_test.go
+++ b/internal/udp/fakes_test.go
@@ -170,6 +170,10 @@
 	return !e.draining[endpointID]
 }
 
+func (e *fakeEndpoints) MayBegin(endpointID string, now time.Time) bool {
+	return e.CanSend(endpointID, now)
+}
+
 func (e *fakeEndpoints) IsDraining(endpointID string, now time.Time) bool {
 	return !e.CanSend(endpointID, now)
 }
--- a/internal/udp/options.go
+++ b/internal/udp/options.go
@@ -25,6 +25,9 @@
 	Address(endpointID string) string
 	// CanSend is false once an endpoint's drain grace is over, less a safety margin.
 	CanSend(endpointID string, now time.Time) bool
+	// MayBegin is whether a new flow may be bound to the endpoint: CanSend, and the list that names it may be
+	// relied on.
+	MayBegin(endpointID string, now time.Time) bool
 	// IsDraining is true of endpoints that drain or were removed.
 	IsDraining(endpointID string, now time.Time) bool
 	// IsResponsive is the result of the last probe, and true before the first.
--- a/internal/udp/placement.go
+++ b/internal/udp/placement.go
@@ -117,27 +117,28 @@
 	}
 	l.wg.Go(func() {
 		startedAt := time.Now()
-		if l.establish(starting, endpointID, startedAt) {
+		outcome := l.establish(starting, endpointID, startedAt)
+		if outcome == balance.OK {
 			l.dispatcher.AttemptEstablished(starting, attempt, endpointID, 0) // no latency was measured
 			return
 		}
 		latency := time.Since(startedAt)
-		l.dispatcher.AttemptEnded(starting, attempt, endpointID, balance.ConnectFailed, latency, balance.EmptyLoadReport)
+		l.dispatcher.AttemptEnded(starting, attempt, endpointID, outcome, latency, balance.EmptyLoadReport)
 	})
 }
 
-// establish binds a flow to a socket and sends what waited. It returns false if the placement
-// has ended, the endpoint drains or there is no socket.
-func (l *Listener) establish(starting *placement, endpointID string, now time.Time) bool {
+// establish binds a flow to a socket and sends what waited. It returns NotSent if the placement has ended or
+// nothing new may be sent to the endpoint, and ConnectFailed if there is no socket.
+func (l *Listener) establish(starting *placement, endpointID string, now time.Time) balance.Outcome {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if starting.ended || l.closed || !l.endpoints.CanSend(endpointID, now) {
-		return false
+	if starting.ended || l.closed || !l.endpoints.MayBegin(endpointID, now) {
+		return balance.NotSent
 	}
 	socket, opened, err := l.acquireSocket(endpointID)
 	if err != nil {
 		l.warnings.Warn("cannot open upstream socket", "component", component, "endpoint", endpointID, "error", err)
-		return false
+		return balance.ConnectFailed
 	}
 	starting.socket, starting.endpointID = socket, endpointID
 	l.boundFlows++
@@ -147,7 +148,7 @@
 	if opened && socket.boundFlows > 0 { // else a write was refused and the placement has ended again
 		l.startReplies(starting, socket)
 	}
-	return true
+	return balance.OK
 }
 
 func (l *Listener) sendQueued(established *placement) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -14,12 +14,13 @@
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/lifecycle"
 	"coralrelay/internal/lineproto"
+	"coralrelay/internal/listlease"
 	"coralrelay/internal/neterr"
 	"coralrelay/internal/proxy"
 )
 
 // writeAllowance is for how long a process may be held up between its clock and a write.
-const writeAllowance = 150 * time.Millisecond
+const writeAllowance = listlease.HoldUp
 
 // attempt is one attempt of a session: a connection, the session's first line on it, and the
 // endpoint's reply.
@@ -141,6 +142,7 @@
 		Deadline:         a.deadline,
 		EndpointDraining: !a.endpoint.acceptsTraffic(now, 0),
 		Reattach:         a.session.CurrentServer != "",
+		List:             a.pool.listStatus(),
 	})
 }
 
@@ -150,10 +152,17 @@
 	if now.After(a.deadline.Add(writeAllowance)) {
 		audit.Violate(audit.SentTooLate, id, "endpoint", a.endpoint.id, "late", now.Sub(a.deadline))
 	}
+	if a.session.CurrentServer != "" {
+		return
+	}
 	grace := a.pool.limits.Load().DrainGrace
-	if a.session.CurrentServer == "" && !a.endpoint.acceptsTraffic(now, grace) {
+	if !a.endpoint.acceptsTraffic(now, grace) {
 		audit.Violate(audit.SentWhileDraining, id, "endpoint", a.endpoint.id)
 	}
+	if list := a.pool.listStatus(); list.Expired(now) > max(grace, writeAllowance) {
+		audit.Violate(audit.SentByExpiredList, id, "endpoint", a.endpoint.id, "generation", list.Generation,
+			"expired", list.Expired(now))
+	}
 }
 
 // logSent writes the debug line of an attempt that was sent: by which list its endpoint was chosen.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -155,6 +155,12 @@
 	return endpoint != nil && endpoint.acceptsTraffic(now, p.sendGrace())
 }
 
+// MayBegin is whether something new may be sent to an endpoint: what CanSend asks, and whether the list that
+// names it may be relied on.
+func (p *Pool) MayBegin(server string, now time.Time) bool {
+	return p.CanSend(server, now) && p.listStatus().MayRely(now)
+}
+
 // IsResponsive is whether an endpoint answered its last probe, true if there was none yet.
 func (p *Pool) IsResponsive(server string) bool {
 	endpoint := p.lookup(server)
