--- a/internal/refmodel/checker.go
+++ b/internal/refmodel/checker.go
@@ -91,6 +91,7 @@
 	requests     map[string]*request
 	open         []*request // not answered yet, in the order of their arrival
 	servers      map[string]*server
+	outages      []outage // in order
 }
 
 // NewChecker returns a Checker for which nothing has happened yet.
--- a/internal/refmodel/checker_notification_cases_test.go
+++ b/internal/refmodel/checker_notification_cases_test.go
@@ -38,12 +38,56 @@
 		answerAndAskAgain(c, "k", 6*time.Second)
 		c.AttemptSent(6301*ms, "k", "a")
 	}, "rule 3"},
-	{"a change that was taken back", func(c *Checker) {
+	{"a change that was taken back, before that counts", func(c *Checker) {
 		c.ServerChanged(0, "a", Draining, 0)
 		c.ServerChanged(time.Second, "a", Ready, 0)
 		answerAndAskAgain(c, "k", 6*time.Second)
 		c.AttemptSent(6500*ms, "k", "a")
+	}, "rule 3"},
+	{"a change that was taken back", func(c *Checker) {
+		c.ServerChanged(0, "a", Draining, 0)
+		c.ServerChanged(time.Second, "a", Ready, 0)
+		answerAndAskAgain(c, "k", 7*time.Second)
+		c.AttemptSent(7*time.Second, "k", "a")
+	}, ""},
+	{"a change that was taken back, as the node knows", func(c *Checker) {
+		c.RequestAnswered(0, "r", Refused)
+		c.ServerChanged(0, "a", Draining, 0)
+		c.ServerChanged(time.Second, "a", Ready, 0)
+		c.NodeNotified(2*time.Second, "a", Ready, 0)
+		c.RequestArrived(6*time.Second, "k", 6*time.Second+time.Second, Retries{})
+		c.AttemptSent(6500*ms, "k", "a")
 	}, ""},
+	{"while discovery can't be reached", func(c *Checker) {
+		c.RequestAnswered(0, "r", Refused)
+		c.ServerChanged(0, "a", Draining, 0)
+		c.DiscoveryReachable(5*time.Second, false)
+		c.RequestArrived(20*time.Second, "k", 20*time.Second+time.Second, Retries{})
+		c.AttemptSent(20*time.Second, "k", "a")
+	}, ""},
+	{"after discovery is back, just in time", func(c *Checker) {
+		c.RequestAnswered(0, "r", Refused)
+		c.ServerChanged(0, "a", Draining, 0)
+		c.DiscoveryReachable(5*time.Second, false)
+		c.DiscoveryReachable(10*time.Second, true)
+		c.RequestArrived(16*time.Second, "k", 16*time.Second+time.Second, Retries{})
+		c.AttemptSent(16300*ms, "k", "a")
+	}, ""},
+	{"after discovery is back", func(c *Checker) {
+		c.RequestAnswered(0, "r", Refused)
+		c.ServerChanged(0, "a", Draining, 0)
+		c.DiscoveryReachable(5*time.Second, false)
+		c.DiscoveryReachable(10*time.Second, true)
+		c.RequestArrived(16*time.Second, "k", 16*time.Second+time.Second, Retries{})
+		c.AttemptSent(16301*ms, "k", "a")
+	}, "rule 3"},
+	{"before discovery can't be reached", func(c *Checker) {
+		c.RequestAnswered(0, "r", Refused)
+		c.ServerChanged(0, "a", Draining, 0)
+		c.DiscoveryReachable(6*time.Second, false)
+		c.RequestArrived(6*time.Second, "k", 6*time.Second+time.Second, Retries{})
+		c.AttemptSent(6301*ms, "k", "a")
+	}, "rule 3"},
 	{"a pushed change, just in time", func(c *Checker) {
 		c.rules.NotifyDelay = 0
 		c.ServerChanged(0, "a", Gone, 0)
--- a/internal/refmodel/rules_hold_test.go
+++ b/internal/refmodel/rules_hold_test.go
@@ -31,6 +31,12 @@
 	checkRulesHold(t, map[string]faultKind{"silent": silentWatches})
 }
 
+// Nothing is sent by a list that discovery, which can be reached, has not confirmed for 6 s, while servers leave
+// and return.
+func TestRulesHoldWithStarvedLists(t *testing.T) {
+	checkRulesHold(t, map[string]faultKind{"starved": starvedLists})
+}
+
 func checkRulesHold(t *testing.T, kinds map[string]faultKind) {
 	for name, kind := range kinds {
 		for seed := range uint64(4) {
@@ -71,6 +77,9 @@
 	if s.faults == silentWatches && s.discovery.fullLists < 6 {
 		s.t.Errorf("only %d full lists were sent", s.discovery.fullLists)
 	}
+	if s.faults == starvedLists && s.discovery.starvations < 3 {
+		s.t.Errorf("lists failed to come only %d times", s.discovery.starvations)
+	}
 	if s.answers["served"] < 60 || s.answers["refused"] < 50 {
 		s.t.Errorf("only these answers were given: %v", s.answers)
 	}
--- a/internal/refmodel/servers.go
+++ b/internal/refmodel/servers.go
@@ -9,12 +9,12 @@
 )
 
 type server struct {
-	isKnown    bool // the node was notified of it
-	state      ServerState
-	notifiedAt time.Duration // when the node was first notified that it is leaving
-	changes    []change      // as discovery had them, in order
-	startedAt  time.Duration // its process, as notified or as it counts as notified
-	sentAt     []time.Duration
+	isKnown       bool // the node was notified of it
+	state         ServerState
+	changes       []change       // as discovery had them, in order
+	notifications []notification // in order
+	startedAt     time.Duration  // its process, as notified or as it counts as notified
+	sentAt        []time.Duration
 }
 
 // change is a change of a server as discovery has it.
@@ -24,6 +24,13 @@
 	startedAt time.Duration
 }
 
+// notification is a state that the node was notified of.
+type notification struct {
+	at      time.Duration
+	state   ServerState
+	changes int // how many changes it has taken in; 0 for one that is older than the last change
+}
+
 func (c *Checker) server(id string) *server {
 	s := c.servers[id]
 	if s == nil {
@@ -48,9 +55,11 @@
 func (c *Checker) NodeNotified(now time.Duration, id string, state ServerState, startedAt time.Duration) {
 	c.CheckDeadlines(now)
 	s := c.server(id)
-	if state != Ready && s.state == Ready {
-		s.notifiedAt = now
+	told := notification{at: now, state: state}
+	if last := len(s.changes) - 1; last >= 0 && s.changes[last].state == state {
+		told.changes = len(s.changes)
 	}
+	s.notifications = append(s.notifications, told)
 	s.applyRestart(startedAt)
 	s.state, s.isKnown, c.hasEndpoints = state, true, true
 	c.updateUnservable()
@@ -69,29 +78,13 @@
 func (c *Checker) applyDueRestarts() {
 	for _, s := range c.servers {
 		for _, change := range s.changes {
-			if c.now >= change.at+c.rules.NotifyDelay {
+			if dueAt := c.dueAt(change.at); dueAt >= 0 && c.now >= dueAt {
 				s.applyRestart(change.startedAt)
 			}
 		}
 	}
 }
 
-// leavingSince reports whether the node counts as notified that a server is leaving, and since
-// when: by a notification, or by what discovery has. Where discovery has the server back
-// already, only a notification counts.
-func (c *Checker) leavingSince(s *server) (since time.Duration, yes bool) {
-	if s.state != Ready {
-		since, yes = s.notifiedAt, true
-	}
-	for i := len(s.changes) - 1; i >= 0 && s.changes[i].state != Ready; i-- {
-		dueAt := s.changes[i].at + c.rules.NotifyDelay
-		if !yes || dueAt < since {
-			since, yes = dueAt, true
-		}
-	}
-	return since, yes
-}
-
 // checkColdBudget checks the window that ends now against a cold server's budget. It is called
 // at each send, so that every window that could break the rule is checked.
 func (c *Checker) checkColdBudget(id string, s *server) {
--- a/internal/refmodel/simulation_changes_test.go
+++ b/internal/refmodel/simulation_changes_test.go
@@ -22,14 +22,14 @@
 			if started > 0 { // on the checker's clock
 				started -= time.Duration(s.startedAt.UnixNano())
 			}
-			if s.faults == silentWatches {
+			if s.faults.isPolled() {
 				c.ServerChanged(now, e.ID, refmodel.ServerState(e.State), started)
 			} else {
 				c.NodeNotified(now, e.ID, refmodel.ServerState(e.State), started)
 			}
 		}
 	})
-	if s.faults == silentWatches {
+	if s.faults.isPolled() {
 		s.discovery.broadcast(entries...)
 		return
 	}
--- a/internal/refmodel/simulation_config_test.go
+++ b/internal/refmodel/simulation_config_test.go
@@ -20,8 +20,12 @@
 	hotRestarts                           // flapping, and successors take over from the node
 	silentWatches                         // flapping, and discovery is polled: watches fall silent and calls fail
 	overlappingProcesses                  // a full fleet, and two processes serve most of the time
+	starvedLists                          // flapping, and discovery is polled: for many seconds no list or change comes
 )
 
+// isPolled reports whether the node polls discovery.
+func (k faultKind) isPolled() bool { return k == silentWatches || k == starvedLists }
+
 func (k faultKind) isFullFleet() bool { return k == fullFleet || k == overlappingProcesses }
 
 // simulationConfig sizes a simulation.
@@ -46,6 +50,8 @@
 	switch k {
 	case silentWatches: // a change lasts longer than its notification may take
 		config.duration, config.calmShare = 90*time.Second, 0.98
+	case starvedLists: // servers leave and return while nothing is heard of them
+		config.duration, config.calmShare = 120*time.Second, 0.96
 	case hangingConnects, lateConnects: // nobody outside sees an attempt before it is connected
 		config.promptLimit = connectTimeout
 	case fullFleet:
--- a/internal/refmodel/simulation_discovery_test.go
+++ b/internal/refmodel/simulation_discovery_test.go
@@ -24,6 +24,9 @@
 	silencedAt     time.Time                // when all watches last fell silent
 	lastCallFailed bool                     // of two calls in a row at least one succeeds
 	fullLists      int                      // full lists sent
+	starvedUntil   time.Time                // no call gets a list before
+	starvations    int                      // how often that was so
+	isDown         bool                     // nobody listens meanwhile
 }
 
 // silenceWatches has all watches fall silent, unless they just did.
@@ -58,7 +61,60 @@
 	}
 }
 
+// minFed is for how long lists come between two times in which none do.
+const minFed = 8 * time.Second
+
+// starve has all watches fall silent, and no call get a list, for a time, unless that was so just now. Now and then
+// discovery is down meanwhile: nobody listens.
+func (d *simDiscovery) starve(length time.Duration) {
+	goesDown := d.sim.chance(0.3)
+	d.sim.mu.Lock()
+	if time.Since(d.starvedUntil) < minFed {
+		d.sim.mu.Unlock()
+		return
+	}
+	d.starvedUntil = time.Now().Add(length)
+	d.starvations++
+	d.isDown = goesDown
+	clear(d.watches)
+	d.sim.mu.Unlock()
+	if !goesDown {
+		return
+	}
+	d.sim.record(func(c *refmodel.Checker, now time.Duration) { c.DiscoveryReachable(now, false) })
+	d.sim.background.Go(func() {
+		time.Sleep(length)
+		d.sim.record(func(c *refmodel.Checker, now time.Duration) {
+			d.isDown = false
+			c.DiscoveryReachable(now, true)
+		})
+	})
+}
+
+// starveCall treats one call while no list comes: it is never answered, refused late, or answered in part.
+func (d *simDiscovery) starveCall(far net.Conn, treatment int) {
+	switch treatment {
+	case 0:
+	case 1:
+		time.Sleep(1500 * ms)
+		fmt.Fprint(far, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		far.Close()
+	case 2:
+		fmt.Fprint(far, "HTTP/1.1 200 OK\r\n\r\n")
+	case 3:
+		fmt.Fprint(far, "HTTP/1.1 200 OK\r\n\r\n{\"generation\":1,\"reset\":true,\"inst")
+	default:
+		fmt.Fprint(far, "HTTP/1.1 200 OK\r\n\r\n{\"generation\":1,\"reset\":true}\n")
+	}
+}
+
 func (d *simDiscovery) dial(context.Context, string, time.Time) (net.Conn, error) {
+	d.sim.mu.Lock()
+	isDown := d.isDown
+	d.sim.mu.Unlock()
+	if isDown {
+		return nil, errRefused
+	}
 	near, far := net.Pipe()
 	d.sim.background.Go(func() {
 		defer far.Close()
@@ -78,6 +134,12 @@
 // serveWatch answers a call, and then sends changes until the watch falls silent.
 func (d *simDiscovery) serveWatch(far net.Conn) {
 	d.sim.mu.Lock()
+	if time.Now().Before(d.starvedUntil) {
+		treatment := d.sim.rng.IntN(5)
+		d.sim.mu.Unlock()
+		d.starveCall(far, treatment)
+		return
+	}
 	if d.lastCallFailed = !d.lastCallFailed && d.sim.rng.IntN(3) == 0; d.lastCallFailed {
 		hangs := d.sim.rng.IntN(2) == 0
 		d.sim.mu.Unlock()
--- a/internal/refmodel/simulation_process_test.go
+++ b/internal/refmodel/simulation_process_test.go
@@ -15,6 +15,7 @@
 	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/downstream"
+	"coralrelay/internal/listlease"
 	"coralrelay/internal/proxy"
 	"coralrelay/internal/upstream"
 )
@@ -41,8 +42,11 @@
 	var lists dispatch.Discovery = noDiscovery{}
 	watch := discovery.New("discovery:1", endpointSink{s, n})
 	watch.Dial = s.discovery.dial
-	if s.faults == silentWatches {
+	if s.faults.isPolled() {
 		lists = watch
+		n.pool.ListStatus = watch.Status
+		watch.SetTerms(listlease.Terms{DrainGrace: poolLimits.DrainGrace})
+		watch.OnLease = func(status listlease.Status) { n.eventLoop.UpdateListLease(status.ExpiresAt) }
 	}
 	core, err := dispatch.New(dispatch.NewClock(), uint64(s.randomDuration(time.Hour)), s.settings, n.pool, lists)
 	if err != nil {
@@ -53,7 +57,7 @@
 	n.server = downstream.New(core, n.pool, downstream.Limits{Sockets: 1000})
 	n.server.Metrics = s.metrics
 	n.goroutines.Go(func() { core.Run(ctx) })
-	if s.faults == silentWatches {
+	if s.faults.isPolled() {
 		n.goroutines.Go(func() { watch.Run(ctx, discovery.Update{}) })
 	} else {
 		n.updateEndpoints(balance.ListFull, list)
--- a/internal/refmodel/simulation_test.go
+++ b/internal/refmodel/simulation_test.go
@@ -153,6 +153,8 @@
 		if s.discovery.silenceWatches() {
 			s.drainReadyServer() // the first change that no watch notifies the node of
 		}
+	case k == starvedLists && s.chance(0.02):
+		s.discovery.starve(6*time.Second + s.randomDuration(12*time.Second))
 	case k == hotRestarts && s.chance(0.02):
 		s.endingProcesses.Wait() // two processes at most
 		s.replaceProcess()
