--- a/internal/refmodel/fake_discovery_test.go
+++ b/internal/refmodel/fake_discovery_test.go
@@ -33,6 +33,8 @@
 	heartbeatInterval func() time.Duration        // of a watch
 	queueTimeout      time.Duration
 	skipsAbandoned    bool // a call whose client has gone takes no service time
+	chargesExpired    bool // a call that has waited too long is answered 503 at once, and takes service time all the same
+	queueLimit        int  // further calls are answered 503 at once; 0 for none
 	queue             chan pendingCall
 	goroutines        sync.WaitGroup
 
@@ -50,6 +52,7 @@
 	arrivedAt time.Time
 	conn      net.Conn
 	abandoned chan struct{} // closed once its client has gone
+	begun     chan struct{} // closed once it is served
 }
 
 func newFakeDiscovery(m func(call int) callBehavior) *fakeDiscovery {
@@ -71,22 +74,52 @@
 		case <-ctx.Done():
 			return
 		case v := <-d.queue:
-			if time.Since(v.arrivedAt) > d.queueTimeout || d.skipsAbandoned && v.isAbandoned() {
+			isExpired := time.Since(v.arrivedAt) > d.queueTimeout
+			if isExpired && !d.chargesExpired || d.skipsAbandoned && v.isAbandoned() {
 				v.conn.Close()
 				continue
 			}
 			time.Sleep(d.serviceTime())
+			if isExpired {
+				continue // it was answered when its time was over
+			}
+			close(v.begun)
 			switch v.behavior {
 			case answersList, stallsMidList, answersSlowly:
 				d.goroutines.Go(func() { d.watch(ctx, v) })
 			case answers503:
-				fmt.Fprint(v.conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-				v.conn.Close()
+				v.reject()
 			}
 		}
 	}
 }
 
+// reject answers 503.
+func (v pendingCall) reject() {
+	fmt.Fprint(v.conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	v.conn.Close()
+}
+
+// enqueue puts a call into the queue, or rejects it because the queue is full.
+func (d *fakeDiscovery) enqueue(v pendingCall) {
+	if d.queueLimit > 0 && len(d.queue) >= d.queueLimit {
+		v.reject()
+		return
+	}
+	d.queue <- v
+	if !d.chargesExpired {
+		return
+	}
+	d.goroutines.Go(func() {
+		select {
+		case <-v.abandoned:
+		case <-v.begun:
+		case <-time.After(d.queueTimeout):
+			v.reject()
+		}
+	})
+}
+
 // isAbandoned reports whether the client has gone.
 func (v pendingCall) isAbandoned() bool {
 	select {
@@ -163,7 +196,7 @@
 			d.mu.Lock()
 			d.lastRequest[node] = addr + " " + strings.TrimSpace(line)
 			d.mu.Unlock()
-			d.queue <- pendingCall{call, how, time.Now(), far, gone}
+			d.enqueue(pendingCall{call, how, time.Now(), far, gone, make(chan struct{})})
 			_, _ = io.Copy(io.Discard, r)
 			close(gone)
 			far.Close()
