--- a/internal/lifecycle/machine_test.go
+++ b/internal/lifecycle/machine_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"coralrelay/internal/listlease"
 )
 
 // lives is the whole table: for each state the events that change it, those that change nothing (their
@@ -79,9 +81,10 @@
 	}
 }
 
-// What is known right before the write decides, in this order: the client, the time, the endpoint.
+// What is known right before the write decides, in this order: the client, the time, the endpoint, the list.
 func TestMayAttempt(t *testing.T) {
 	now := time.Unix(1000, 0)
+	expired, valid := listlease.Status{ExpiresAt: now}, listlease.Status{ExpiresAt: now.Add(1)}
 	tests := []struct {
 		name    string
 		attempt Attempt
@@ -95,6 +98,10 @@
 		{"endpoint drains", Attempt{Deadline: now.Add(1), EndpointDraining: true}, EndpointDraining},
 		{"draining endpoint has it", Attempt{Deadline: now.Add(1), EndpointDraining: true, Reattach: true}, None},
 		{"too late for the one that has it", Attempt{Deadline: now, EndpointDraining: true, Reattach: true}, DeadlinePassed},
+		{"by a list that is confirmed", Attempt{Deadline: now.Add(1), List: valid}, None},
+		{"by a list that is not", Attempt{Deadline: now.Add(1), List: expired}, ListExpired},
+		{"by a list that is not, to the one that has it", Attempt{Deadline: now.Add(1), List: expired, Reattach: true}, None},
+		{"endpoint drains by a list that is not confirmed", Attempt{Deadline: now.Add(1), EndpointDraining: true, List: expired}, EndpointDraining},
 	}
 	for _, tt := range tests {
 		m := Machine{state: Attempting}
--- /dev/null
+++ b/internal/listlease/lease_test.go
@@ -0,0 +1,177 @@
+package listlease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms    = time.Millisecond
+	grace = 300 * ms
+)
+
+// at is a time of a test, from its begin.
+func at(after time.Duration) time.Time { return time.Unix(1_000_000, 0).Add(after) }
+
+// ended is a call that ended a while after its begin.
+func ended(begun, took time.Duration, outcome Outcome) Call {
+	return Call{BegunAt: at(begun), EndedAt: at(begun + took), Outcome: outcome}
+}
+
+// Each outcome of a call after a list that was confirmed at 0, and after a watch that the service ended at 1 s: when the
+// lease ends.
+func TestEvidenceOfCalls(t *testing.T) {
+	const asConfirmed = NotifyDelay
+	tests := []struct {
+		outcome               Outcome
+		took                  time.Duration
+		want, wantAfterTheEnd time.Duration
+	}{
+		{ConnectRefused, ms, 8 * time.Second, 8 * time.Second},
+		{ConnectTimedOut, 1100 * ms, 8 * time.Second, 8 * time.Second},
+		{Unavailable, 5 * ms, asConfirmed, 8 * time.Second},
+		{Unavailable, 999 * ms, asConfirmed, 8 * time.Second},
+		{Unavailable, time.Second, asConfirmed, asConfirmed},
+		{Unavailable, 3 * time.Second, asConfirmed, asConfirmed},
+		{Reset, 5 * ms, asConfirmed, 8 * time.Second},
+		{Reset, time.Second, asConfirmed, asConfirmed},
+		{Unanswered, 7 * time.Second, asConfirmed, asConfirmed},
+		{Incomplete, 5 * ms, asConfirmed, asConfirmed},
+		{Incomplete, 3 * time.Second, asConfirmed, asConfirmed},
+		{Spoilt, 5 * ms, asConfirmed, asConfirmed},
+		{NotMade, ms, asConfirmed, asConfirmed},
+		{Superseded, ms, asConfirmed, asConfirmed},
+		{WatchSilent, 2500 * ms, asConfirmed, asConfirmed},
+	}
+	covered := map[Outcome]bool{WatchEnded: true}
+	for _, tt := range tests {
+		covered[tt.outcome] = true
+		for _, watchEnds := range []bool{false, true} {
+			l := Start(at(-time.Hour), Terms{DrainGrace: grace}, 1, true)
+			l.Confirm(at(0), 2)
+			want := tt.want
+			if watchEnds {
+				l.CallEnded(ended(-time.Hour, time.Hour+time.Second, WatchEnded))
+				want = tt.wantAfterTheEnd
+			}
+			l.CallEnded(ended(2*time.Second, tt.took, tt.outcome))
+			if got := l.Status().ExpiresAt.Sub(at(0)); got != want {
+				t.Errorf("%v after %v, watch ended %v: the lease ends at %v, want %v", tt.outcome, tt.took, watchEnds, got, want)
+			}
+		}
+	}
+	for outcome := range OutcomeCount {
+		if !covered[outcome] {
+			t.Errorf("no row for %v", outcome)
+		}
+	}
+}
+
+// What else there is: starts, reloads, pushed lists, a grace that covers no hold-up.
+func TestLeaseEnds(t *testing.T) {
+	pushed := Terms{DrainGrace: grace, Pushed: true}
+	tests := []struct {
+		name  string
+		terms Terms
+		play  func(l *Lease)
+		want  time.Duration
+	}{
+		{"a process starts", Terms{DrainGrace: grace}, func(*Lease) {}, NotifyDelay},
+		{"a list is confirmed", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(2*time.Second), 2) }, 8 * time.Second},
+		{"an old list comes late", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(-time.Second), 2) }, NotifyDelay},
+		{"a grace shorter than a hold-up", Terms{DrainGrace: 50 * ms}, func(*Lease) {}, NotifyDelay - 100*ms},
+		{"no grace", Terms{}, func(*Lease) {}, NotifyDelay - HoldUp},
+		{"a reload", Terms{DrainGrace: grace}, func(l *Lease) {
+			l.Confirm(at(2*time.Second), 2)
+			l.ChangeAddress(at(2500 * ms))
+		}, 6500 * ms},
+		{"a reload renews nothing", Terms{DrainGrace: grace}, func(l *Lease) { l.ChangeAddress(at(5 * time.Second)) }, NotifyDelay},
+		{"a reload, then a list", Terms{DrainGrace: grace}, func(l *Lease) {
+			l.ChangeAddress(at(time.Second))
+			l.Confirm(at(1500*ms), 2)
+		}, 7500 * ms},
+		{"a reload, and nobody listens there", Terms{DrainGrace: grace}, func(l *Lease) {
+			l.ChangeAddress(at(time.Second))
+			l.CallEnded(ended(1100*ms, ms, ConnectRefused))
+		}, 7100 * ms},
+		{"a pushed list at a start", pushed, func(*Lease) {}, 150 * ms},
+		{"a pushed list, watched", pushed, func(l *Lease) { l.Confirm(at(100*ms), 2) }, 6100 * ms},
+		{"a pushed list, the watch ended", pushed, func(l *Lease) {
+			l.Confirm(at(100*ms), 2)
+			l.CallEnded(ended(0, time.Second, WatchEnded))
+		}, 1150 * ms},
+		{"a pushed list, the watch fell silent", pushed, func(l *Lease) {
+			l.Confirm(at(100*ms), 2)
+			l.CallEnded(ended(0, 2600*ms, WatchSilent))
+		}, 6100 * ms},
+		{"a pushed list, discovery is down", pushed, func(l *Lease) {
+			l.Confirm(at(100*ms), 2)
+			l.CallEnded(ended(0, time.Second, WatchEnded))
+			l.CallEnded(ended(1100*ms, ms, ConnectRefused))
+		}, 7100 * ms},
+	}
+	for _, tt := range tests {
+		l := Start(at(0), tt.terms, 1, true)
+		tt.play(l)
+		status := l.Status()
+		if got := status.ExpiresAt.Sub(at(0)); got != tt.want {
+			t.Errorf("%s: the lease ends at %v, want %v", tt.name, got, tt.want)
+		}
+		if !status.MayRely(status.ExpiresAt.Add(-1)) || status.MayRely(status.ExpiresAt) {
+			t.Errorf("%s: the list may be relied on until the lease ends, and no longer", tt.name)
+		}
+	}
+	if status := Start(at(0), pushed, 0, false).Status(); status.ExpiresAt != at(NotifyDelay) {
+		t.Errorf("a start without a list: the lease ends at %v", status.ExpiresAt)
+	}
+}
+
+// A list that nobody follows may be relied on without end.
+func TestZeroStatus(t *testing.T) {
+	var status Status
+	if !status.MayRely(at(0)) || status.Expired(at(0)) != 0 || status.Age(at(0)) != NeverConfirmed {
+		t.Errorf("%+v", status)
+	}
+}
+
+// Whatever comes: the lease never outlasts the last moment that anything vouched for by more than NotifyDelay, and
+// outcomes that prove that discovery can be reached never renew it.
+func TestLeaseNeverOutlastsItsEvidence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{DrainGrace: time.Duration(rapid.IntRange(0, 500).Draw(t, "grace")) * ms, Pushed: rapid.Bool().Draw(t, "pushed")}
+		l := Start(at(0), terms, 1, rapid.Bool().Draw(t, "has list"))
+		now, vouched := time.Duration(0), time.Duration(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * ms
+			before := l.Status()
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				l.Confirm(at(now), 2)
+				vouched = now
+			case 1:
+				l.ChangeAddress(at(now))
+				if l.Status().ExpiresAt.After(before.ExpiresAt) {
+					t.Fatalf("a reload renewed the lease")
+				}
+			default:
+				call := ended(now, time.Duration(rapid.IntRange(0, 4000).Draw(t, "took"))*ms,
+					Outcome(rapid.IntRange(0, int(OutcomeCount)-1).Draw(t, "outcome")))
+				l.CallEnded(call)
+				after := l.Status()
+				switch call.Outcome {
+				case ConnectRefused, ConnectTimedOut, Unavailable, Reset:
+					vouched = now // at the most
+				default:
+					if after.ExpiresAt.After(before.ExpiresAt) {
+						t.Fatalf("%v renewed the lease", call.Outcome)
+					}
+				}
+			}
+			if end := l.Status().ExpiresAt; end.After(at(vouched + NotifyDelay)) {
+				t.Fatalf("the lease ends at %v; vouched for at %v", end.Sub(at(0)), vouched)
+			}
+		}
+	})
+}
