--- a/internal/discovery/lease_test.go
+++ b/internal/discovery/lease_test.go
@@ -142,12 +142,12 @@
 		conn := <-l.conns
 		l.expectLease(5 * time.Second) // 4 s after the reload
 		_, _ = io.WriteString(conn, responseHead)
-		time.Sleep(2 * time.Second)
+		time.Sleep(firstHeartbeatAfter + 50*time.Millisecond) // before the call is overdue
 		_, _ = io.WriteString(conn, chunked("\n", ""))
 		l.expectLease(5 * time.Second)
 		_, _ = io.WriteString(conn, chunked(fullList43, ""))
 		l.next(balance.ListFull)
-		l.expectLease(9 * time.Second)
+		l.expectLease(8050 * time.Millisecond)
 		conn.Close()
 	})
 }
--- a/internal/udp/fakes_test.go
+++ b/internal/udp/fakes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,7 @@
 
 // fakeEndpoints are endpoints that answer each datagram with their name and the datagram.
 type fakeEndpoints struct {
+	listExpired  atomic.Bool // the list that names them may not be relied on
 	mu           sync.Mutex
 	addresses    map[string]string
 	conns        map[string]*net.UDPConn
@@ -171,7 +173,7 @@
 }
 
 func (e *fakeEndpoints) MayBegin(endpointID string, now time.Time) bool {
-	return e.CanSend(endpointID, now)
+	return e.CanSend(endpointID, now) && !e.listExpired.Load()
 }
 
 func (e *fakeEndpoints) IsDraining(endpointID string, now time.Time) bool {
--- a/internal/upstream/race_test.go
+++ b/internal/upstream/race_test.go
@@ -15,6 +15,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/discovery"
+	"coralrelay/internal/listlease"
 )
 
 // blockedDial dials at once and returns the connection when it is released, whatever has
@@ -88,7 +89,7 @@
 	}
 }
 
-// A drain is reported, or the deadline passes, while the dial is under way: nothing is sent.
+// A drain is reported, or the deadline passes, or the list's lease ends, while the dial is under way: nothing is sent.
 func TestSendsNothingAfterDrainOrDeadlineDuringDial(t *testing.T) {
 	draining := endpointAt("s1", "")
 	draining.State = balance.Draining
@@ -96,8 +97,9 @@
 		"drains": func(pool *Pool) {
 			pool.Update(false, []discovery.Endpoint{draining}, time.Now())
 		},
-		"gone":     func(pool *Pool) { pool.Update(true, nil, time.Now().Add(-time.Second)) },
-		"deadline": func(*Pool) { time.Sleep(time.Second) }, // of the test's fake time
+		"gone":         func(pool *Pool) { pool.Update(true, nil, time.Now().Add(-time.Second)) },
+		"deadline":     func(*Pool) { time.Sleep(time.Second) }, // of the test's fake time
+		"list's lease": func(*Pool) { time.Sleep(time.Second / 2) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -105,6 +107,8 @@
 				pool := New(ctx, Limits{DrainGrace: 300 * time.Millisecond})
 				observations := make(observationChannel, 16)
 				pool.SetObserver(observations)
+				status := listlease.Status{ExpiresAt: time.Now().Add(time.Second / 2)}
+				pool.ListStatus = func() listlease.Status { return status }
 				pool.Update(true, []discovery.Endpoint{endpointAt("s1", "s1")}, time.Now())
 				poolSide, endpointSide := net.Pipe()
 				dialled, release := make(chan struct{}), make(chan struct{})
