A connect that this machine fails at is no sign that discovery is down

Change: only refused connections and timeouts of a second and more count; all else says nothing of discovery.

--- a/internal/discovery/callerror.go
+++ b/internal/discovery/callerror.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"os"
 	"syscall"
 
 	"coralrelay/internal/listlease"
-	"coralrelay/internal/neterr"
 )
 
 // callError is why a call has ended, by what that says of the service.
@@ -34,17 +34,19 @@
 	return listlease.WatchEnded
 }
 
-// newDialError is the error of a call whose connection did not come up.
+// newDialError is the error of a call whose connection did not come up. Any error of this machine, such as that it
+// has no route, says nothing of the service.
 func newDialError(err error) error {
+	timeout := net.Error(nil)
 	switch {
-	case neterr.IsLocal(err):
-		return &callError{listlease.NotMade, err}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return &callError{listlease.ConnectRefused, err}
 	case errors.Is(err, syscall.ECONNRESET):
 		return &callError{listlease.Reset, err}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &callError{listlease.ConnectTimedOut, err}
 	}
-	return &callError{listlease.ConnectTimedOut, err}
+	return &callError{listlease.NotMade, err}
 }
 
 // newHeaderError is the error of a call of which no usable header has come.
--- a/internal/listlease/lease.go
+++ b/internal/listlease/lease.go
@@ -108,11 +108,14 @@
 
 // showsOutage reports whether a call shows that discovery could not be reached when it began.
 func (l *Lease) showsOutage(call Call) bool {
+	isPrompt := call.EndedAt.Sub(call.BegunAt) < promptAnswer
 	switch call.Outcome {
-	case ConnectRefused, ConnectTimedOut:
+	case ConnectRefused:
 		return true
+	case ConnectTimedOut: // sooner it is no silence of the network
+		return !isPrompt
 	case Unavailable, Reset:
-		return l.watchWasEnded && call.EndedAt.Sub(call.BegunAt) < promptAnswer
+		return l.watchWasEnded && isPrompt
 	}
 	return false
 }
--- a/internal/listlease/lease_test.go
+++ b/internal/listlease/lease_test.go
@@ -31,6 +31,7 @@
 	}{
 		{ConnectRefused, ms, 8 * time.Second, 8 * time.Second},
 		{ConnectTimedOut, 1100 * ms, 8 * time.Second, 8 * time.Second},
+		{ConnectTimedOut, 5 * ms, asConfirmed, asConfirmed},
 		{Unavailable, 5 * ms, asConfirmed, 8 * time.Second},
 		{Unavailable, 999 * ms, asConfirmed, 8 * time.Second},
 		{Unavailable, time.Second, asConfirmed, asConfirmed},
