--- a/internal/listlease/lease.go
+++ b/internal/listlease/lease.go
@@ -92,7 +92,8 @@
 	}
 }
 
-// CallEnded takes the end of a call.
+// CallEnded takes the end of a call. That discovery is down renews a lease only while it lasts: after its end some change
+// may have counted already, and still does.
 func (l *Lease) CallEnded(call Call) {
 	if call.Outcome == WatchEnded {
 		l.watchWasEnded = true
@@ -101,11 +102,20 @@
 		}
 		return
 	}
-	if l.showsOutage(call) {
+	if l.showsOutage(call) && call.BegunAt.Before(l.renewableUntil()) {
 		l.vouch(call.BegunAt)
 	}
 }
 
+// renewableUntil is until when a sign that discovery is down renews the lease. Where lists are pushed that is after its
+// end: a watch that discovery ended as it went down has nothing to count, and the first call comes later.
+func (l *Lease) renewableUntil() time.Time {
+	if l.terms.Pushed {
+		return l.vouchedAt.Add(NotifyDelay)
+	}
+	return l.end()
+}
+
 // showsOutage reports whether a call shows that discovery could not be reached when it began.
 func (l *Lease) showsOutage(call Call) bool {
 	isPrompt := call.EndedAt.Sub(call.BegunAt) < promptAnswer
@@ -125,11 +135,16 @@
 	return Status{Generation: l.generation, ConfirmedAt: l.confirmedAt, ExpiresAt: l.expiresAt()}
 }
 
-// expiresAt is when the lease ends.
+// expiresAt is when the list may not be relied on any more; zero for never.
 func (l *Lease) expiresAt() time.Time {
 	if mutation.Enabled("lease") {
-		return time.Time{} // never
+		return time.Time{}
 	}
+	return l.end()
+}
+
+// end is when the lease ends.
+func (l *Lease) end() time.Time {
 	end := l.vouchedAt.Add(NotifyDelay - l.terms.hurry())
 	if !l.limit.IsZero() && l.limit.Before(end) {
 		return l.limit
--- a/internal/listlease/lease_test.go
+++ b/internal/listlease/lease_test.go
@@ -97,6 +97,17 @@
 			l.ChangeAddress(at(time.Second))
 			l.CallEnded(ended(1100*ms, ms, ConnectRefused))
 		}, 7100 * ms},
+		{"nobody listens, after the lease has ended", Terms{DrainGrace: grace}, func(l *Lease) {
+			l.CallEnded(ended(6*time.Second, ms, ConnectRefused))
+		}, NotifyDelay},
+		{"nobody listens, just before", Terms{DrainGrace: grace}, func(l *Lease) {
+			l.CallEnded(ended(6*time.Second-1, ms, ConnectRefused))
+		}, 12*time.Second - 1},
+		{"nobody listens, again and again", Terms{DrainGrace: grace}, func(l *Lease) {
+			for begun := time.Second; begun < 30*time.Second; begun += time.Second {
+				l.CallEnded(ended(begun, ms, ConnectRefused))
+			}
+		}, 35 * time.Second},
 		{"a pushed list at a start", pushed, func(*Lease) {}, 150 * ms},
 		{"a pushed list, watched", pushed, func(l *Lease) { l.Confirm(at(100*ms), 2) }, 6100 * ms},
 		{"a pushed list, the watch ended", pushed, func(l *Lease) {
@@ -110,8 +121,13 @@
 		{"a pushed list, discovery is down", pushed, func(l *Lease) {
 			l.Confirm(at(100*ms), 2)
 			l.CallEnded(ended(0, time.Second, WatchEnded))
-			l.CallEnded(ended(1100*ms, ms, ConnectRefused))
-		}, 7100 * ms},
+			l.CallEnded(ended(1600*ms, ms, ConnectRefused))
+		}, 7600 * ms},
+		{"a pushed list, discovery is down later", pushed, func(l *Lease) {
+			l.Confirm(at(100*ms), 2)
+			l.CallEnded(ended(0, time.Second, WatchEnded))
+			l.CallEnded(ended(6100*ms, ms, ConnectRefused))
+		}, 1150 * ms},
 	}
 	for _, tt := range tests {
 		l := Start(at(0), tt.terms, 1, true)
@@ -163,7 +179,10 @@
 				after := l.Status()
 				switch call.Outcome {
 				case ConnectRefused, ConnectTimedOut, Unavailable, Reset:
-					vouched = now // at the most
+					if !terms.Pushed && !before.MayRely(call.BegunAt) && after.ExpiresAt.After(before.ExpiresAt) {
+						t.Fatalf("%v renewed a lease that had ended", call.Outcome)
+					}
+					vouched = max(vouched, now) // at the most
 				default:
 					if after.ExpiresAt.After(before.ExpiresAt) {
 						t.Fatalf("%v renewed the lease", call.Outcome)
