--- a/internal/listlease/lease_test.go
+++ b/internal/listlease/lease_test.go
@@ -1,6 +1,7 @@
 package listlease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -70,66 +71,76 @@
 	}
 }
 
+// leaseCase is what a lease that started at 0 is told, and when it ends then.
+type leaseCase struct {
+	name  string
+	terms Terms
+	play  func(l *Lease)
+	want  time.Duration
+}
+
+// askedCases are of lists that are asked for.
+var askedCases = []leaseCase{
+	{"a process starts", Terms{DrainGrace: grace}, func(*Lease) {}, NotifyDelay},
+	{"a list is confirmed", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(2*time.Second), 2) }, 8 * time.Second},
+	{"an old list comes late", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(-time.Second), 2) }, NotifyDelay},
+	{"a grace shorter than a hold-up", Terms{DrainGrace: 50 * ms}, func(*Lease) {}, NotifyDelay - 100*ms},
+	{"no grace", Terms{}, func(*Lease) {}, NotifyDelay - HoldUp},
+	{"a reload", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.Confirm(at(2*time.Second), 2)
+		l.ChangeAddress(at(2500 * ms))
+	}, 6500 * ms},
+	{"a reload renews nothing", Terms{DrainGrace: grace}, func(l *Lease) { l.ChangeAddress(at(5 * time.Second)) }, NotifyDelay},
+	{"a reload, then a list", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.ChangeAddress(at(time.Second))
+		l.Confirm(at(1500*ms), 2)
+	}, 7500 * ms},
+	{"a reload, and nobody listens there", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.ChangeAddress(at(time.Second))
+		l.CallEnded(ended(1100*ms, ms, ConnectRefused))
+	}, 7100 * ms},
+	{"nobody listens, after the lease has ended", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.CallEnded(ended(6*time.Second, ms, ConnectRefused))
+	}, NotifyDelay},
+	{"nobody listens, just before", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.CallEnded(ended(6*time.Second-1, ms, ConnectRefused))
+	}, 12*time.Second - 1},
+	{"nobody listens, again and again", Terms{DrainGrace: grace}, func(l *Lease) {
+		for begun := time.Second; begun < 30*time.Second; begun += time.Second {
+			l.CallEnded(ended(begun, ms, ConnectRefused))
+		}
+	}, 35 * time.Second},
+}
+
+var pushed = Terms{DrainGrace: grace, Pushed: true}
+
+// pushedCases are of lists that are pushed.
+var pushedCases = []leaseCase{
+	{"a pushed list at a start", pushed, func(*Lease) {}, 150 * ms},
+	{"a pushed list, watched", pushed, func(l *Lease) { l.Confirm(at(100*ms), 2) }, 6100 * ms},
+	{"a pushed list, the watch ended", pushed, func(l *Lease) {
+		l.Confirm(at(100*ms), 2)
+		l.CallEnded(ended(0, time.Second, WatchEnded))
+	}, 1150 * ms},
+	{"a pushed list, the watch fell silent", pushed, func(l *Lease) {
+		l.Confirm(at(100*ms), 2)
+		l.CallEnded(ended(0, 2600*ms, WatchSilent))
+	}, 6100 * ms},
+	{"a pushed list, discovery is down", pushed, func(l *Lease) {
+		l.Confirm(at(100*ms), 2)
+		l.CallEnded(ended(0, time.Second, WatchEnded))
+		l.CallEnded(ended(1600*ms, ms, ConnectRefused))
+	}, 7600 * ms},
+	{"a pushed list, discovery is down later", pushed, func(l *Lease) {
+		l.Confirm(at(100*ms), 2)
+		l.CallEnded(ended(0, time.Second, WatchEnded))
+		l.CallEnded(ended(6100*ms, ms, ConnectRefused))
+	}, 1150 * ms},
+}
+
 // What else there is: starts, reloads, pushed lists, a grace that covers no hold-up.
 func TestLeaseEnds(t *testing.T) {
-	pushed := Terms{DrainGrace: grace, Pushed: true}
-	tests := []struct {
-		name  string
-		terms Terms
-		play  func(l *Lease)
-		want  time.Duration
-	}{
-		{"a process starts", Terms{DrainGrace: grace}, func(*Lease) {}, NotifyDelay},
-		{"a list is confirmed", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(2*time.Second), 2) }, 8 * time.Second},
-		{"an old list comes late", Terms{DrainGrace: grace}, func(l *Lease) { l.Confirm(at(-time.Second), 2) }, NotifyDelay},
-		{"a grace shorter than a hold-up", Terms{DrainGrace: 50 * ms}, func(*Lease) {}, NotifyDelay - 100*ms},
-		{"no grace", Terms{}, func(*Lease) {}, NotifyDelay - HoldUp},
-		{"a reload", Terms{DrainGrace: grace}, func(l *Lease) {
-			l.Confirm(at(2*time.Second), 2)
-			l.ChangeAddress(at(2500 * ms))
-		}, 6500 * ms},
-		{"a reload renews nothing", Terms{DrainGrace: grace}, func(l *Lease) { l.ChangeAddress(at(5 * time.Second)) }, NotifyDelay},
-		{"a reload, then a list", Terms{DrainGrace: grace}, func(l *Lease) {
-			l.ChangeAddress(at(time.Second))
-			l.Confirm(at(1500*ms), 2)
-		}, 7500 * ms},
-		{"a reload, and nobody listens there", Terms{DrainGrace: grace}, func(l *Lease) {
-			l.ChangeAddress(at(time.Second))
-			l.CallEnded(ended(1100*ms, ms, ConnectRefused))
-		}, 7100 * ms},
-		{"nobody listens, after the lease has ended", Terms{DrainGrace: grace}, func(l *Lease) {
-			l.CallEnded(ended(6*time.Second, ms, ConnectRefused))
-		}, NotifyDelay},
-		{"nobody listens, just before", Terms{DrainGrace: grace}, func(l *Lease) {
-			l.CallEnded(ended(6*time.Second-1, ms, ConnectRefused))
-		}, 12*time.Second - 1},
-		{"nobody listens, again and again", Terms{DrainGrace: grace}, func(l *Lease) {
-			for begun := time.Second; begun < 30*time.Second; begun += time.Second {
-				l.CallEnded(ended(begun, ms, ConnectRefused))
-			}
-		}, 35 * time.Second},
-		{"a pushed list at a start", pushed, func(*Lease) {}, 150 * ms},
-		{"a pushed list, watched", pushed, func(l *Lease) { l.Confirm(at(100*ms), 2) }, 6100 * ms},
-		{"a pushed list, the watch ended", pushed, func(l *Lease) {
-			l.Confirm(at(100*ms), 2)
-			l.CallEnded(ended(0, time.Second, WatchEnded))
-		}, 1150 * ms},
-		{"a pushed list, the watch fell silent", pushed, func(l *Lease) {
-			l.Confirm(at(100*ms), 2)
-			l.CallEnded(ended(0, 2600*ms, WatchSilent))
-		}, 6100 * ms},
-		{"a pushed list, discovery is down", pushed, func(l *Lease) {
-			l.Confirm(at(100*ms), 2)
-			l.CallEnded(ended(0, time.Second, WatchEnded))
-			l.CallEnded(ended(1600*ms, ms, ConnectRefused))
-		}, 7600 * ms},
-		{"a pushed list, discovery is down later", pushed, func(l *Lease) {
-			l.Confirm(at(100*ms), 2)
-			l.CallEnded(ended(0, time.Second, WatchEnded))
-			l.CallEnded(ended(6100*ms, ms, ConnectRefused))
-		}, 1150 * ms},
-	}
-	for _, tt := range tests {
+	for _, tt := range slices.Concat(askedCases, pushedCases) {
 		l := Start(at(0), tt.terms, 1, true)
 		tt.play(l)
 		status := l.Status()
