discovery: a date that is hours off makes no endpoint older

Cause: the header's date was believed whatever it said: an hour ahead, an endpoint that warms up passed for one that is warm. Change: a date that makes endpoints older is believed only if a start in this process's future agrees with it, one that makes them younger until a start contradicts it.

--- a/internal/discovery/skew.go
+++ b/internal/discovery/skew.go
@@ -17,19 +17,26 @@
 	lateStartsNeeded = 3
 )
 
-// clockSkew estimates by how much this process's clock is ahead of the service's, by which starts are
-// dated: a process may start while its wall clock is wrong. It is 0 until something contradicts that.
+// clockSkew estimates by how much this process's clock is ahead of the one by which starts are dated: a process may
+// start while its wall clock is wrong. It is 0 until something contradicts that.
+//
+// The date of a header is the service's, which may be wrong too. One that makes endpoints younger is believed until it
+// would put a start into the future. One that makes them older could have an endpoint that warms up pass for a warm one,
+// and is believed only once a start lies in this process's own future and is recent by the date.
 type clockSkew struct {
 	ahead      time.Duration
-	lateStarts int           // in a row
-	leastAge   time.Duration // of these
+	byDate     bool           // ahead is what a date says
+	dated      *time.Duration // what the latest date says; nil for none
+	lateStarts int            // in a row
+	leastAge   time.Duration  // of these
 }
 
 // observeDate takes the date of a response's header, which came at now.
 func (s *clockSkew) observeDate(now, date time.Time) {
 	ahead := now.Sub(date)
-	if difference := ahead - s.ahead; difference.Abs() > skewTolerance {
-		s.ahead, s.lateStarts = ahead, 0
+	s.dated = &ahead
+	if difference := ahead - s.ahead; difference.Abs() > skewTolerance && ahead > -skewTolerance {
+		s.ahead, s.byDate, s.lateStarts = ahead, true, 0
 	}
 }
 
@@ -39,7 +46,7 @@
 	age := now.Sub(startedAt) - s.ahead
 	switch {
 	case age < -skewTolerance: // nothing has started after now
-		s.ahead, s.lateStarts = s.ahead+age, 0
+		s.correctFuture(now.Sub(startedAt))
 	case !isNew:
 	case age <= maxStartDelay:
 		s.lateStarts = 0
@@ -53,6 +60,21 @@
 	}
 }
 
+// correctFuture corrects the estimate by a start that would lie in the future. age is that start's by this process's
+// clock.
+func (s *clockSkew) correctFuture(age time.Duration) {
+	wasByDate := s.byDate
+	s.byDate, s.lateStarts = false, 0
+	switch {
+	case wasByDate && age >= -skewTolerance: // the date is wrong, and this process's clock need not be
+		s.ahead = 0
+	case s.dated != nil && age-*s.dated >= -skewTolerance && age-*s.dated <= maxStartDelay:
+		s.ahead, s.byDate = *s.dated, true
+	default:
+		s.ahead = age
+	}
+}
+
 // toLocal converts a time by the service's clock, since 1970, to this process's clock.
 func (s *clockSkew) toLocal(startedAt time.Duration) time.Duration {
 	if startedAt <= 0 {
