loopback: one place gives tests and scenarios addresses, at an IP of each process

Cause: freeAddr of the node's tests drew ports at 127.0.0.1, so that test processes side by side could draw the same one (one of 12 runs, four at once, failed with a node that had ended); coralctl's and gossip's took ephemeral ports, which the system gives to others; the scenarios had it right already. Change: testbed.Reserve moved to package loopback; the fake servers and the three tests use it.

--- a/cmd/coralctl/script_test.go
+++ b/cmd/coralctl/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/loopback"
 )
 
 const (
@@ -35,15 +35,6 @@
 	return dir, nil
 })
 
-// freeAddress returns a loopback address on which nobody listens.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 // TestScripts runs the scripts in testdata/script, with the real programs.
 func TestScripts(t *testing.T) {
 	t.Cleanup(func() {
@@ -65,7 +56,7 @@
 // setFreeAddresses gives a script the addresses on which its agent listens.
 func setFreeAddresses(env *testscript.Env) error {
 	for _, name := range []string{"AGENT", "GOSSIP", "RECORD"} {
-		address, err := freeAddress()
+		address, err := loopback.Reserve()
 		if err != nil {
 			return err
 		}
--- a/cmd/coralrelay/helpers_test.go
+++ b/cmd/coralrelay/helpers_test.go
@@ -5,18 +5,17 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"coralrelay/internal/config"
 	"coralrelay/internal/fake"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/testsocket"
 )
@@ -47,26 +46,14 @@
 	}
 }
 
-// givenAddrs are the addresses that freeAddr has returned: whoever asked need not listen yet.
-var givenAddrs sync.Map
-
-// freeAddr returns an address on which nobody listens: below the ephemeral ports, which the system
-// would give to the next connection or listener of this very test. No two calls return the same.
+// freeAddr returns an address on which nobody listens. No two calls return the same.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	const lowest, ephemeral = 12_000, 32_000
-	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ephemeral-lowest)))
-		if err != nil {
-			continue
-		}
-		defer l.Close()
-		if _, given := givenAddrs.LoadOrStore(l.Addr().String(), true); !given {
-			return l.Addr().String()
-		}
+	addr, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return addr
 }
 
 // serveUpstream answers as an upstream does; first lines are counted in got.
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -4,12 +4,13 @@
 	"context"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"coralrelay/internal/loopback"
 )
 
 // ServerOptions say how a server behaves.
@@ -68,17 +69,11 @@
 
 // listen opens an address, or a new one below the ephemeral ports: the address has to be free again
 // when the server restarts on it.
-func listen(addr string) (l net.Listener, err error) {
+func listen(addr string) (net.Listener, error) {
 	if addr != "" {
 		return net.Listen("tcp", addr)
 	}
-	for range 100 {
-		addr = fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(20_000))
-		if l, err = net.Listen("tcp", addr); err == nil {
-			return l, nil
-		}
-	}
-	return nil, err
+	return loopback.Listen()
 }
 
 // Start runs the server, on the addresses that it had before if it had some. From its second start
--- a/internal/fleet/gossip/run_test.go
+++ b/internal/fleet/gossip/run_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/fleet/quota"
+	"coralrelay/internal/loopback"
 )
 
 var testQuotaConfig = quota.Config{
@@ -31,12 +31,12 @@
 
 // freeAddress returns an address for TCP and UDP on which nobody listens.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // Members receive each other's reports, and none from a member without the key. Many calls at once
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,33 @@
+package loopback
+
+import (
+	"net"
+	"testing"
+)
+
+// No address is given twice, and on one that is reserved whoever asked can listen.
+func TestReserveGivesEachAddressOnce(t *testing.T) {
+	const count = 1000
+	seen := map[string]bool{}
+	for range count {
+		addr, err := Reserve()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[addr] {
+			t.Fatalf("%s was given twice", addr)
+		}
+		seen[addr] = true
+	}
+	addr, err := Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/scenario/resume/start.go
+++ b/internal/scenario/resume/start.go
@@ -8,6 +8,7 @@
 
 	"coralrelay/internal/fake"
 	"coralrelay/internal/keyfile"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/scenario/testbed"
 )
@@ -49,7 +50,7 @@
 	for i := range r.Nodes {
 		name := fmt.Sprintf("n%d", i)
 		r.nodeNames = append(r.nodeNames, name)
-		addr, err := testbed.Reserve()
+		addr, err := loopback.Reserve()
 		if err != nil {
 			return err
 		}
--- a/internal/scenario/soak/node.go
+++ b/internal/scenario/soak/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coralrelay/internal/fake"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/scenario/testbed"
 )
 
@@ -40,7 +41,7 @@
 		return nil, err
 	}
 	var err error
-	if n.addr, err = testbed.Reserve(); err != nil {
+	if n.addr, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
 	if number%4 == 3 {
--- a/internal/scenario/soak/server.go
+++ b/internal/scenario/soak/server.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"coralrelay/internal/scenario/testbed"
+	"coralrelay/internal/loopback"
 )
 
 const (
@@ -61,7 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.addr == "" {
-		addr, err := testbed.Reserve()
+		addr, err := loopback.Reserve()
 		if err != nil {
 			return err
 		}
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 
 	"coralrelay/internal/fleet/agentapi"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 )
 
@@ -50,7 +51,7 @@
 	config.Fleet.Name = name
 	config.Fleet.Bind = bind
 	config.Fleet.Advertise = advertise
-	if config.Fleet.AgentAddr, err = Reserve(); err != nil || bed.Voters == 0 {
+	if config.Fleet.AgentAddr, err = loopback.Reserve(); err != nil || bed.Voters == 0 {
 		return config, err
 	}
 	return config, bed.configureLog(&config, name, number)
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,38 +31,6 @@
 	stoppedAt time.Time // when it was last killed or told to end
 }
 
-// The ports that are reserved: all below the ephemeral ones, each once before any comes again.
-const lowestPort, ephemeralPort = 12_000, 32_000
-
-// reserved counts the ports that were reserved, from a start of its own in each process.
-var reserved = func() *atomic.Int64 {
-	var count atomic.Int64
-	count.Store(rand.Int64N(ephemeralPort - lowestPort))
-	return &count
-}()
-
-// Reserve returns a loopback address on which nobody listens: below the ephemeral ports, which the system
-// gives to connections and listeners meanwhile, and at an IP that runs beside this one hardly have.
-func Reserve() (addr string, err error) {
-	const maxTries = 100
-	var listener net.Listener
-	for range maxTries {
-		port := lowestPort + int(reserved.Add(1))%(ephemeralPort-lowestPort)
-		if listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", runIP(), port)); err == nil {
-			defer func() { _ = listener.Close() }()
-			return listener.Addr().String(), nil
-		}
-	}
-	return "", err
-}
-
-// runIP is a loopback IP of this process, by its number.
-func runIP() string {
-	const firstNet, nets, hosts = 64, 128, 250
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.1", firstNet+pid%nets, 1+pid/nets%hosts)
-}
-
 // Start starts the node and waits until it accepts clients. It is an error, with the end of the
 // node's log, if the process ends first.
 func (n *Node) Start(ctx context.Context) error {
--- a/internal/scenario/testbed/nodeconfig.go
+++ b/internal/scenario/testbed/nodeconfig.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 )
 
@@ -61,7 +62,7 @@
 
 // NewNode writes a node's files; Start starts it.
 func NewNode(options NodeOptions) (*Node, error) {
-	addr, err := Reserve()
+	addr, err := loopback.Reserve()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/scenario/udp/measure.go
+++ b/internal/scenario/udp/measure.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coralrelay/internal/fake"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/scenario/testbed"
 )
@@ -51,7 +52,7 @@
 	if err != nil {
 		return found, err
 	}
-	listen, err := testbed.Reserve()
+	listen, err := loopback.Reserve()
 	if err != nil {
 		return found, err
 	}
--- a/internal/scenario/udp/udp.go
+++ b/internal/scenario/udp/udp.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"coralrelay/internal/fake"
+	"coralrelay/internal/loopback"
 	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/scenario/testbed"
 )
@@ -161,7 +162,7 @@
 
 // configure sets what the operator's file says of datagrams.
 func (r *run) configure(config *operatorconfig.UDP) (err error) {
-	if config.Listen, err = testbed.Reserve(); err != nil {
+	if config.Listen, err = loopback.Reserve(); err != nil {
 		return err
 	}
 	config.Flows = r.Table
