Failing test: in a crowd at discovery, nodes whose watches were ended rely on their lists

Cause: 503 within a second after a watch that discovery ended counts as a sign that it is down (an unsure row of docs/notes/list-lease.md). Change: two tests, 300 nodes in exact time: watches end, discovery is down for 0 and 8 s, then busy. Processes that start stop in time (green). Of 90 nodes whose watches were ended 58 and 38 rely on their list for over 6 s; listed in KNOWN-RED.txt.

--- /dev/null
+++ b/internal/refmodel/crowd_after_outage_test.go
@@ -0,0 +1,106 @@
+package refmodel_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// A crowd is a discovery that answers 503 at once while it has too many callers: nodes whose watches have ended, and
+// nodes that start. It can be reached, so that what it has to tell counts after notifyDeadline.
+const (
+	crowdNodes   = 300
+	crowdWarmUp  = 25 * time.Second // until all nodes have their watches
+	restartAfter = 2 * time.Second  // after the crowd's begin seven in ten nodes are replaced by processes that start
+	crowdWatched = 20 * time.Second
+	samplePause  = 50 * ms
+)
+
+// followers are the nodes of a crowd.
+type followers struct {
+	watched []*follower // those that had a watch
+	started []*follower // those that start in the crowd
+}
+
+// playCrowd has all watches end, answers all calls 503 for the time of an outage, and then has most nodes start again.
+// It returns the nodes, and since when discovery could be reached.
+func playCrowd(ctx context.Context, t *testing.T, d *fakeDiscovery, outage time.Duration) (nodes followers, begun time.Time) {
+	d.closesWatches = true
+	ending, end := context.WithCancel(ctx)
+	t.Cleanup(end)
+	for i := range uint64(crowdNodes) {
+		if isReplaced := i%10 >= 3; isReplaced {
+			d.startFollower(ending, t, fmt.Sprint("old", i), i, pollSettings(crowdNodes))
+		} else {
+			nodes.watched = append(nodes.watched, d.startFollower(ctx, t, fmt.Sprint("n", i), i, pollSettings(crowdNodes)))
+		}
+	}
+	time.Sleep(crowdWarmUp)
+	d.isDown.Store(true)
+	d.silenceWatches()
+	time.Sleep(outage)
+	d.isDown.Store(false)
+	begun = time.Now()
+	time.Sleep(restartAfter)
+	end()
+	for i := len(nodes.watched); i < crowdNodes; i++ {
+		f := d.startFollower(ctx, t, fmt.Sprint("new", i), uint64(crowdNodes+i), pollSettings(crowdNodes))
+		nodes.started = append(nodes.started, f)
+	}
+	return nodes, begun
+}
+
+// countOverdue is how many nodes rely on a list for longer than notifyDeadline after it was last confirmed, or after
+// discovery could be reached again since.
+func countOverdue(all []*follower, reachableSince time.Time) (count int) {
+	overdue := map[*follower]bool{}
+	for begun := time.Now(); time.Since(begun) < crowdWatched; time.Sleep(samplePause) {
+		now := time.Now()
+		for _, f := range all {
+			status, vouchedAt := f.watch.Status(), reachableSince
+			if status.ConfirmedAt.After(vouchedAt) {
+				vouchedAt = status.ConfirmedAt
+			}
+			if status.MayRely(now) && now.Sub(vouchedAt) > notifyDeadline+samplePause {
+				overdue[f] = true
+			}
+		}
+	}
+	return len(overdue)
+}
+
+// crowdOutages are how long discovery is down before its crowd; not at all where watches were reset.
+var crowdOutages = []time.Duration{0, 8 * time.Second}
+
+// Processes that start in a crowd do not rely on their list for longer than they may.
+func TestStartsInACrowdStopInTime(t *testing.T) {
+	testCrowd(t, func(nodes followers) []*follower { return nodes.started })
+}
+
+// Nor do nodes whose watches discovery has ended. They fail at it: 503 at once passes for an outage then, which
+// docs/notes/list-lease.md weighs; the test is in KNOWN-RED.txt.
+func TestEndedWatchesInACrowdStopInTime(t *testing.T) {
+	testCrowd(t, func(nodes followers) []*follower { return nodes.watched })
+}
+
+func testCrowd(t *testing.T, chosen func(nodes followers) []*follower) {
+	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as in TestManySilentWatchesAreReplacedInTime
+	for _, outage := range crowdOutages {
+		t.Run(fmt.Sprint("down for ", outage), func(t *testing.T) {
+			discovery := busyCase{nodes: crowdNodes, waits: 2 * time.Second}.discovery
+			runInBubble(t, discovery, func(ctx context.Context, d *fakeDiscovery) {
+				nodes, begun := playCrowd(ctx, t, d, outage)
+				all := chosen(nodes)
+				if isStart := len(nodes.started) > 0 && all[0] == nodes.started[0]; isStart {
+					begun = begun.Add(restartAfter)
+				}
+				if count := countOverdue(all, begun); count > 0 {
+					t.Errorf("%d of %d nodes rely on a list for over %v", count, len(all), notifyDeadline)
+				}
+			})
+		})
+	}
+}
--- a/internal/refmodel/fake_discovery_test.go
+++ b/internal/refmodel/fake_discovery_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,9 +33,10 @@
 	serviceTime       func() time.Duration        // of one call
 	heartbeatInterval func() time.Duration        // of a watch
 	queueTimeout      time.Duration
-	skipsAbandoned    bool // a call whose client has gone takes no service time
-	chargesExpired    bool // a call that has waited too long is answered 503 at once, and takes service time all the same
-	queueLimit        int  // further calls are answered 503 at once; 0 for none
+	skipsAbandoned    bool        // a call whose client has gone takes no service time
+	chargesExpired    bool        // a call that has waited too long is answered 503 at once, and takes service time all the same
+	queueLimit        int         // further calls are answered 503 at once; 0 for none
+	isDown            atomic.Bool // all calls are answered 503 at once
 	queue             chan pendingCall
 	goroutines        sync.WaitGroup
 
@@ -102,7 +104,7 @@
 
 // enqueue puts a call into the queue, or rejects it because the queue is full.
 func (d *fakeDiscovery) enqueue(v pendingCall) {
-	if d.queueLimit > 0 && len(d.queue) >= d.queueLimit {
+	if d.isDown.Load() || d.queueLimit > 0 && len(d.queue) >= d.queueLimit {
 		v.reject()
 		return
 	}
