--- a/cmd/coralscenario/soak.go
+++ b/cmd/coralscenario/soak.go
@@ -18,6 +18,7 @@
 	Servers int           `default:"60" help:"Feed servers: 8 to 120."`
 	For     time.Duration `default:"60s" help:"How long: 15s to 10m."`
 	Faults  int           `default:"3" help:"How many faults overlap: 0 to 8."`
+	Crowd   bool          `help:"Other callers keep discovery busy all along."`
 	Log     string        `placeholder:"DIR" help:"Keep the trace, the nodes' logs and the history there."`
 	Replay  string        `placeholder:"FILE" help:"Play the faults of this trace in place of drawn ones."`
 	Shrink  bool          `help:"If the run breaks a rule, play it again with fewer faults, to find a small trace that breaks it too."`
@@ -36,6 +37,7 @@
 			Servers:  c.Servers,
 			Duration: c.For,
 			Overlap:  c.Faults,
+			Crowded:  c.Crowd,
 			Mutation: c.Mutation,
 			LogDir:   c.Log,
 			Progress: progress,
--- a/internal/fake/discovery.go
+++ b/internal/fake/discovery.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,6 +65,8 @@
 	writes     map[string][]Write              // by node
 	troubles   map[string]Trouble              // by node
 	servers    []*http.Server
+
+	isCrowded atomic.Bool
 }
 
 // NewDiscovery returns a discovery with an empty list.
@@ -167,6 +170,9 @@
 	if !isWatch {
 		from = 0
 	}
+	if !d.awaitTurn(w, r) {
+		return
+	}
 	flusher, _ := w.(http.Flusher)
 	w.Header().Set("Content-Type", "application/json")
 	for first := true; ; first = false {
--- a/internal/scenario/soak/faults.go
+++ b/internal/scenario/soak/faults.go
@@ -48,6 +48,10 @@
 		r.playServerFault(ctx, fault)
 	case fault.Kind == clientsIdle:
 		return r.playIdleCrowd(ctx, fault)
+	case fault.Kind == discoveryCrowded:
+		r.discovery.SetCrowded(true)
+		r.awaitEnd(ctx, fault)
+		r.discovery.SetCrowded(false)
 	case strings.HasPrefix(kind, "clients_"): // clients look at the trace themselves
 		return r.awaitEnd(ctx, fault)
 	default:
--- a/internal/scenario/soak/soak.go
+++ b/internal/scenario/soak/soak.go
@@ -38,6 +38,7 @@
 	Servers  int
 	Duration time.Duration
 	Overlap  int    // how many faults overlap
+	Crowded  bool   // other callers keep discovery busy all along
 	Binary   string // the node's
 	Mutation string // empty for none
 	LogDir   string // for the trace, logs and history; empty for a temporary one that is removed
--- a/internal/scenario/soak/trace.go
+++ b/internal/scenario/soak/trace.go
@@ -31,6 +31,7 @@
 	discoveryBreaks  Kind = "discovery_breaks"  // answers end in the middle
 	discoveryDown    Kind = "discovery_down"    // nobody listens, for all nodes; watches have ended
 	discoveryStarves Kind = "discovery_starves" // for long no call brings a list, in one of several forms
+	discoveryCrowded Kind = "discovery_crowded" // other callers keep it busy; played on demand alone
 	linkCut          Kind = "link_cut"          // between nodes and servers
 	linkOneWay       Kind = "link_one_way"
 	linkResets       Kind = "link_resets" // at the n-th byte
@@ -107,6 +108,9 @@
 		}
 	}
 	trace.Faults = append(trace.Faults, provocation(options)...)
+	if options.Crowded {
+		trace.Faults = append(trace.Faults, allAlong(options, discoveryCrowded))
+	}
 	return trace
 }
 
@@ -122,23 +126,22 @@
 // provocation returns faults at all nodes and every other server that provoke what the run's mutation
 // no longer prevents; none without a mutation.
 func provocation(options *Options) (faults []Fault) {
-	var nodes, servers []int
+	for _, kind := range provocations[options.Mutation] {
+		faults = append(faults, allAlong(options, kind))
+	}
+	return faults
+}
+
+// allAlong returns a fault at all nodes and every other server from the first fault's time to the quiet.
+func allAlong(options *Options, kind Kind) Fault {
+	fault := Fault{Kind: kind, BeginMs: warmUp.Milliseconds(), EndMs: (options.Duration - quiet).Milliseconds()}
 	for number := range options.Nodes {
-		nodes = append(nodes, number)
+		fault.Nodes = append(fault.Nodes, number)
 	}
 	for number := 0; number < options.Servers; number += 2 {
-		servers = append(servers, number)
-	}
-	for _, kind := range provocations[options.Mutation] {
-		faults = append(faults, Fault{
-			Kind:    kind,
-			BeginMs: warmUp.Milliseconds(),
-			EndMs:   (options.Duration - quiet).Milliseconds(),
-			Nodes:   nodes,
-			Servers: servers,
-		})
+		fault.Servers = append(fault.Servers, number)
 	}
-	return faults
+	return fault
 }
 
 func randomSpan(rng *rand.Rand, longest time.Duration) time.Duration {
