A client for which there is no descriptor is rejected at once, by a spare one

Cause: with no descriptor left an accept was tried again until one was free. The spare is not in the descriptor budget: it is the first to go.

--- a/cmd/coralrelay/descriptors.go
+++ b/cmd/coralrelay/descriptors.go
@@ -13,7 +13,8 @@
 	minClientSockets = 64
 	// baseDescriptors are open without any client: the three of every process, the runtime's
 	// two, the clients' listener, the watch of discovery and the one that it replaces, a
-	// file that is read again, and two whose attempt has just ended.
+	// file that is read again, and two whose attempt has just ended. The listener's spare one is not
+	// counted: it is given up where no other is left.
 	baseDescriptors = 11
 	// siblingDescriptors are those of a process that may have a sibling: the instance lock, the
 	// hot restart's listener, its sender's connection, and the one to a successor.
--- a/internal/audit/reason.go
+++ b/internal/audit/reason.go
@@ -37,7 +37,7 @@
 	RefuseAttemptStale      // an attempt was not made: the endpoint list may not be relied on
 	RefuseAttemptDraining   // an attempt was not made: the endpoint drains or is gone
 	RefuseRequestDraining   // a request was rejected: the node drains
-	RefuseRequestCapacity   // a request was rejected: all sockets are in use
+	RefuseRequestCapacity   // a request was rejected: all sockets are in use, or no descriptor is left
 	RefuseRequestLeft       // a request was not served: its client had left when it was read
 
 	EjectProbeTimedOut      // an endpoint did not answer a probe
--- a/internal/downstream/listen.go
+++ b/internal/downstream/listen.go
@@ -12,8 +12,12 @@
 const acceptRetryInterval = 5 * time.Millisecond
 
 // Serve accepts clients until the listener is closed; then it returns nil. While there is
-// no capacity for one more it does not accept: newcomers wait in the kernel's backlog.
+// no capacity for one more it does not accept: newcomers wait in the kernel's backlog. Where there is no
+// descriptor for one more, they are rejected at once.
 func (s *Server) Serve(listener net.Listener) error {
+	spare := &spareDescriptor{}
+	spare.acquire()
+	defer spare.release()
 	s.mu.Lock()
 	s.accepting = true
 	s.mu.Unlock()
@@ -21,6 +25,9 @@
 		s.awaitCapacity()
 		conn, err := listener.Accept()
 		switch {
+		case err == nil && !spare.acquire():
+			s.rejectAtOnce(conn)
+			spare.acquire()
 		case err == nil:
 			// Added here, so that awaitCapacity counts it.
 			client := s.addClient(conn, time.Now().Add(firstLineTimeout))
@@ -30,8 +37,8 @@
 		case neterr.IsExhausted(err) && s.FreeDescriptors != nil && s.FreeDescriptors() > 0:
 		default: // other connections must end first
 			s.acceptErrorLog.Warn("accept failed", "component", component, "error", err)
-			if neterr.IsExhausted(err) {
-				s.evictForDescriptor()
+			if neterr.IsExhausted(err) && !s.evictForDescriptor() && spare.release() {
+				continue // one client at a time is accepted, and rejected
 			}
 			time.Sleep(acceptRetryInterval)
 		}
@@ -39,13 +46,16 @@
 }
 
 // evictForDescriptor has the client that has been idle for longest make way for one that waits to be
-// accepted, unless as many linger already as may.
-func (s *Server) evictForDescriptor() {
+// accepted, unless as many linger already as may; then, or if none is idle, the one that has lingered for longest. It
+// reports whether there was one to make way.
+func (s *Server) evictForDescriptor() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lingeringCount < LingeringSockets(s.limits.Sockets) {
-		s.evictLongestIdle(nil)
+	if s.lingeringCount < LingeringSockets(s.limits.Sockets) && s.evictLongestIdle(nil) {
+		return true
 	}
+	s.cutOldestLingering()
+	return s.lingeringCount > 0
 }
 
 // Close ends every connection that is left and waits for the goroutines that served
