Pauses double while discovery lets calls wait in vain, so that a crowded one recovers

A pause of 1.9 s at most is too short for a fleet: 210 nodes make 54 calls a second of a discovery that serves 40, and a deep queue then holds nothing but calls whose time is over. Change: the module is told how a call failed (ListFailure). After calls that waited for 1 s and more in vain the longest pause doubles from 1 s, up to what all instances' calls take the slowest discovery known (27 ms each), 8 s at most; small fleets keep 1 s. Rejections at once and refusals pause as before.

--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -19,6 +19,11 @@
 	// long: docs/incidents/2026-12-02-stale-endpoint-list.md.
 	busySpacing    = 2 * subscribeSpacing
 	maxBusyBackoff = 1900 * time.Millisecond
+	// crowdedSpacing and maxCrowdedBackoff are the same of a list service that lets call after call wait in
+	// vain: the slowest one known needs 8 s to serve 300 instances. A pause of that length lets it serve
+	// what it has in its queue, however long that is.
+	crowdedSpacing    = 8 * subscribeSpacing
+	maxCrowdedBackoff = 8 * time.Second
 )
 
 // startSubscription treats a start, which may be that of all instances, as a subscription that has
@@ -26,7 +31,7 @@
 func (b *Balancer) startSubscription() {
 	if b.settings.Instances > 1 && !b.settings.SubscribeImmediately {
 		b.subscription.active = true
-		b.scheduleSubscribe(false)
+		b.scheduleSubscribe(CallFailed)
 	}
 	b.subscribeIfDue()
 }
@@ -43,15 +48,18 @@
 // scheduleSubscribe sets the time of the next call, as a call or the subscription has failed. A
 // subscription that has ended is no list service that is down: the next call follows at once, unless
 // the subscription had just begun. The backoff is for calls. However long they have failed, two fit
-// into the time after which all that a list has to report counts as reported once it is back. isBusy is
-// set if the service had no time for the call.
-func (b *Balancer) scheduleSubscribe(isBusy bool) {
+// into the time after which all that a list has to report counts as reported once it is back, unless the
+// calls wait in vain.
+func (b *Balancer) scheduleSubscribe(failure ListFailure) {
 	others := time.Duration(b.settings.Instances - 1)
 	spread := b.jitter(min(others*subscribeSpacing, maxSubscribeBackoff)/2, 1)
 	pause := max(spread, b.subscription.nextCallAt-b.now)
 	if !b.subscription.active {
+		if failure == CallWaited {
+			b.subscription.waitedCalls++
+		}
 		backoff := minSubscribeBackoff << min(2*b.subscription.failures, 16)
-		pause = b.jitter(min(backoff, b.longestBackoff(isBusy)), 0.25)
+		pause = b.jitter(min(backoff, b.longestBackoff(failure)), 0.25)
 		b.subscription.failures++
 	}
 	b.subscription.active = false
@@ -59,22 +67,31 @@
 	b.emit(SetTimer{Delay: pause + b.settings.Tick})
 }
 
-// longestBackoff is the longest pause between two calls.
-func (b *Balancer) longestBackoff(isBusy bool) time.Duration {
-	if !isBusy {
-		return maxSubscribeBackoff
+// longestBackoff is the longest pause after a call that has failed. Where calls wait in vain it doubles with each.
+func (b *Balancer) longestBackoff(failure ListFailure) time.Duration {
+	switch failure {
+	case CallRejected:
+		return b.fleetBackoff(busySpacing, maxBusyBackoff)
+	case CallWaited:
+		doubled := maxSubscribeBackoff << min(b.subscription.waitedCalls-1, 16)
+		return b.fleetBackoff(crowdedSpacing, min(doubled, maxCrowdedBackoff))
 	}
-	return min(max(time.Duration(b.settings.Instances)*busySpacing, maxSubscribeBackoff), maxBusyBackoff)
+	return maxSubscribeBackoff
+}
+
+// fleetBackoff is the time in which all instances call, spaced so, and within bounds.
+func (b *Balancer) fleetBackoff(spacing, longest time.Duration) time.Duration {
+	return min(max(time.Duration(b.settings.Instances)*spacing, maxSubscribeBackoff), longest)
 }
 
 func (b *Balancer) handleListUpdate(e ListUpdate) {
 	if e.Kind == ListFailed {
-		b.scheduleSubscribe(e.IsBusy)
+		b.scheduleSubscribe(e.Failure)
 		return
 	}
 	if e.Kind != ListCached && !b.subscription.active {
 		b.subscription.active = true
-		b.subscription.failures = 0
+		b.subscription.failures, b.subscription.waitedCalls = 0, 0
 		b.subscription.nextCallAt = b.now + maxSubscribeBackoff
 	}
 	if e.Kind != ListDelta {
--- a/balance/events.go
+++ b/balance/events.go
@@ -70,9 +70,19 @@
 type ListUpdate struct {
 	Kind    ListKind
 	Entries []ServerEntry
-	IsBusy  bool // of a ListFailed: the list service had no time for the call
+	Failure ListFailure // of a ListFailed
 }
 
+// ListFailure is how a call for the server list has failed.
+type ListFailure int
+
+// The ways in which a call fails.
+const (
+	CallFailed   ListFailure = iota // it says nothing of how busy the list service is
+	CallRejected                    // the list service rejected it at once
+	CallWaited                      // the list service let it wait, and then had no time for it
+)
+
 // ListLease says until when the server list may be relied on. It replaces an earlier one; without one the
 // list may always be relied on.
 type ListLease struct {
--- a/balance/listlease_test.go
+++ b/balance/listlease_test.go
@@ -95,22 +95,49 @@
 	}
 }
 
-// A busy list service is called again later than one that is down, by an instance of many.
+// A list service that has no time is called again later than one that is down, by an instance of many; and later and
+// later if it lets calls wait in vain, until there is a list.
 func TestBusyListServiceIsCalledLater(t *testing.T) {
-	for instances, longest := range map[int]time.Duration{3: 1260 * ms, 300: 2400 * ms, 900: 2400 * ms} {
+	tests := []struct {
+		instances       int
+		failure         ListFailure
+		least, greatest time.Duration // of the pause, from the fifth failure on
+	}{
+		{3, CallFailed, 700 * ms, 1260 * ms},
+		{300, CallFailed, 700 * ms, 1260 * ms},
+		{3, CallRejected, 700 * ms, 1260 * ms},
+		{300, CallRejected, 1400 * ms, 2400 * ms},
+		{900, CallRejected, 1400 * ms, 2400 * ms},
+		{3, CallWaited, 700 * ms, 1260 * ms},
+		{100, CallWaited, 2000 * ms, 3360 * ms},
+		{300, CallWaited, 6000 * ms, 10020 * ms},
+		{900, CallWaited, 6000 * ms, 10020 * ms},
+	}
+	for _, tt := range tests {
 		settings := testSettings()
-		settings.SubscribeRequired, settings.Instances = true, instances
+		settings.SubscribeRequired, settings.Instances = true, tt.instances
 		d := newDriver(t, settings, "a")
 		d.runFor(2 * time.Second)
 		for i := range 8 {
-			failedAt := d.now
-			d.handle(ListUpdate{Kind: ListFailed, IsBusy: true})
-			for len(actionsOf[Subscribe](d.runFor(10*ms))) == 0 && d.now < failedAt+10*time.Second {
-			}
-			gap := d.now - failedAt
-			if gap > longest || i > 3 && instances > 3 && gap < 1400*ms {
-				t.Errorf("%d instances: call %d came after %v", instances, i, gap)
+			pause := d.pauseAfter(tt.failure)
+			if pause > tt.greatest || i > 3 && pause < tt.least {
+				t.Errorf("%+v: call %d came after %v", tt, i, pause)
 			}
 		}
+		d.handle(ListUpdate{Kind: ListFull})
+		d.handle(ListUpdate{Kind: ListFailed}) // the watch has ended, and then a call fails
+		d.runFor(2 * time.Second)
+		if pause := d.pauseAfter(tt.failure); pause > 200*ms {
+			t.Errorf("%+v: after a list a call came after %v", tt, pause)
+		}
+	}
+}
+
+// pauseAfter is how long after a failed call the next one comes.
+func (d *driver) pauseAfter(failure ListFailure) time.Duration {
+	failedAt := d.now
+	d.handle(ListUpdate{Kind: ListFailed, Failure: failure})
+	for len(actionsOf[Subscribe](d.runFor(10*ms))) == 0 && d.now < failedAt+20*time.Second {
 	}
+	return d.now - failedAt
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -68,7 +68,8 @@
 type subscription struct {
 	active       bool
 	listReceived bool // a list has come since the start
-	failures     int  // calls that failed in a row
+	failures     int  // calls that failed since there was a list
+	waitedCalls  int  // those of them that waited in vain
 	nextCallAt   time.Duration
 	leaseEndsAt  time.Duration // when the list may not be relied on any more; 0 for never
 	leaseEnded   bool          // that was acted on
--- a/internal/discovery/callerror.go
+++ b/internal/discovery/callerror.go
@@ -7,6 +7,7 @@
 	"os"
 	"syscall"
 
+	"coralrelay/balance"
 	"coralrelay/internal/listlease"
 )
 
@@ -34,6 +35,17 @@
 	return listlease.WatchEnded
 }
 
+// failureOf is what the end of a call says of how busy the service is.
+func failureOf(call listlease.Call) balance.ListFailure {
+	switch {
+	case call.WaitedInVain():
+		return balance.CallWaited
+	case call.Outcome == listlease.Unavailable:
+		return balance.CallRejected
+	}
+	return balance.CallFailed
+}
+
 // newDialError is the error of a call whose connection did not come up. Any error of this machine, such as that it
 // has no route, says nothing of the service.
 func newDialError(err error) error {
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -98,19 +98,20 @@
 	outcome := c.outcomeOf(err)
 	w.needsFullList = w.needsFullList || outcome == listlease.Spoilt
 	w.countCall(outcome)
-	w.lease.CallEnded(listlease.Call{BegunAt: c.begunAt, EndedAt: time.Now(), Outcome: outcome})
+	ended := listlease.Call{BegunAt: c.begunAt, EndedAt: time.Now(), Outcome: outcome}
+	w.lease.CallEnded(ended)
 	w.publishLease()
 	if c.failureReported {
 		slog.Info("endpoint list call ended after it was overdue", w.describe(c, "outcome", outcome.String(), "error", err)...)
 		return
 	}
-	w.reportFailure(c, outcome.String(), err, outcome.IsBusy())
+	w.reportFailure(c, outcome.String(), err, failureOf(ended))
 }
 
 // reportFailure reports that a call has failed, once for each call. Whoever receives the report
 // decides when to poll again; a poll that was requested before is void, or two calls would follow
-// one another without a pause. isBusy is set if the service had no time for the call.
-func (w *Watcher) reportFailure(c *call, outcome string, err error, isBusy bool) {
+// one another without a pause.
+func (w *Watcher) reportFailure(c *call, outcome string, err error, failure balance.ListFailure) {
 	c.failureReported = true
 	reconnectReason := audit.ReconnectWatchEnded
 	if !c.watching {
@@ -120,7 +121,7 @@
 	audit.Count(reconnectReason)
 	w.discardPollRequest()
 	slog.Warn("endpoint list watch ended", w.describe(c, "outcome", outcome, "error", err)...)
-	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration, IsBusy: isBusy})
+	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration, Failure: failure})
 }
 
 // discardPollRequest voids a requested poll.
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -21,12 +21,12 @@
 	Kind       balance.ListKind
 	Generation int64 // of the list after this update
 	Endpoints  []Endpoint
-	IsBusy     bool // of a failure: the service had no time for the call
+	Failure    balance.ListFailure // of a call that has failed
 }
 
 // ListUpdate returns the update as the decision module takes it.
 func (u Update) ListUpdate() balance.ListUpdate {
-	list := balance.ListUpdate{Kind: u.Kind, IsBusy: u.IsBusy}
+	list := balance.ListUpdate{Kind: u.Kind, Failure: u.Failure}
 	for _, endpoint := range u.Endpoints {
 		list.Entries = append(list.Entries, endpoint.ServerEntry)
 	}
--- a/internal/listlease/lease.go
+++ b/internal/listlease/lease.go
@@ -118,14 +118,13 @@
 
 // showsOutage reports whether a call shows that discovery could not be reached when it began.
 func (l *Lease) showsOutage(call Call) bool {
-	isPrompt := call.EndedAt.Sub(call.BegunAt) < promptAnswer
 	switch call.Outcome {
 	case ConnectRefused:
 		return true
 	case ConnectTimedOut: // sooner it is no silence of the network
-		return !isPrompt
+		return !call.isPrompt()
 	case Unavailable, Reset:
-		return l.watchWasEnded && isPrompt
+		return l.watchWasEnded && call.isPrompt()
 	}
 	return false
 }
--- a/internal/listlease/outcome.go
+++ b/internal/listlease/outcome.go
@@ -27,11 +27,20 @@
 // String returns the outcome as it stands in log lines and metrics.
 func (o Outcome) String() string { return outcomeNames[o] }
 
-// IsBusy reports whether the service said that it had no time for the call.
-func (o Outcome) IsBusy() bool { return o == Unavailable }
-
 // Call is a call of discovery that has ended.
 type Call struct {
 	BegunAt, EndedAt time.Time
 	Outcome          Outcome
 }
+
+// isPrompt reports whether the call ended so soon that it can't have waited too long.
+func (c Call) isPrompt() bool { return c.EndedAt.Sub(c.BegunAt) < promptAnswer }
+
+// WaitedInVain reports whether discovery took the call, let it wait and had no time for it.
+func (c Call) WaitedInVain() bool {
+	switch c.Outcome {
+	case Unavailable, Reset, Unanswered:
+		return !c.isPrompt()
+	}
+	return false
+}
