A call that waits in vain shows that an outage is over, for the list's lease

The lease took 503 at once for an outage as long as no list came, whatever other calls had shown meanwhile. Change: once a call has waited for 1 s and more, has brought a part of a list, or is overdue with its connection up, only another watch that discovery ends makes 503 or a reset at once a sign of an outage again.

--- a/internal/listlease/lease.go
+++ b/internal/listlease/lease.go
@@ -42,9 +42,9 @@
 	confirmedAt time.Time // when the list was last known to be the service's; zero if it never was
 	vouchedAt   time.Time // the latest moment at which nothing that the list lacks can have counted
 	limit       time.Time // the lease ends by then, until the list is vouched for anew; zero for no limit
-	// watchWasEnded is set from when the service has ended a watch until the list is confirmed again: watches
+	// mayBeDown is set from when the service has ended a watch until there is a sign that it can be reached: watches
 	// end when discovery goes down, so that a call which fails at once since then is a sign of that.
-	watchWasEnded bool
+	mayBeDown bool
 }
 
 // Start returns the lease of a process that starts, with a list of a generation that it was given. hasList is not
@@ -64,7 +64,7 @@
 // to come then, or a heartbeat came on the watch that follows it.
 func (l *Lease) Confirm(at time.Time, generation int64) {
 	l.generation = generation
-	l.watchWasEnded = false
+	l.mayBeDown = false
 	if at.After(l.confirmedAt) {
 		l.confirmedAt = at
 	}
@@ -81,7 +81,7 @@
 // ChangeAddress takes that a reload has named another address: what the service there has to tell counts by
 // ReloadDelay.
 func (l *Lease) ChangeAddress(now time.Time) {
-	l.watchWasEnded = false
+	l.mayBeDown = false
 	l.limitTo(now.Add(ReloadDelay - l.terms.hurry()))
 }
 
@@ -96,17 +96,23 @@
 // may have counted already, and still does.
 func (l *Lease) CallEnded(call Call) {
 	if call.Outcome == WatchEnded {
-		l.watchWasEnded = true
+		l.mayBeDown = true
 		if l.terms.Pushed {
 			l.limitTo(call.EndedAt.Add(l.terms.spare()))
 		}
 		return
 	}
+	if call.showsReachable() {
+		l.mayBeDown = false
+	}
 	if l.showsOutage(call) && call.BegunAt.Before(l.renewableUntil()) {
 		l.vouch(call.BegunAt)
 	}
 }
 
+// CallWaits takes that a call whose connection is up waits for an answer for longer than one that fails at once.
+func (l *Lease) CallWaits() { l.mayBeDown = false }
+
 // renewableUntil is until when a sign that discovery is down renews the lease. Where lists are pushed that is after its
 // end: a watch that discovery ended as it went down has nothing to count, and the first call comes later.
 func (l *Lease) renewableUntil() time.Time {
@@ -124,7 +130,7 @@
 	case ConnectTimedOut: // sooner it is no silence of the network
 		return !call.isPrompt()
 	case Unavailable, Reset:
-		return l.watchWasEnded && call.isPrompt()
+		return l.mayBeDown && call.isPrompt()
 	}
 	return false
 }
--- a/internal/listlease/lease_test.go
+++ b/internal/listlease/lease_test.go
@@ -112,6 +112,47 @@
 	}, 35 * time.Second},
 }
 
+// outageCases are of watches that the service has ended, and what followed.
+var outageCases = []leaseCase{
+	{"503 at once", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallEnded(ended(4*time.Second, ms, Unavailable))
+	}, 10 * time.Second},
+	{"503 at once after a call that waited in vain", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallEnded(ended(1500*ms, 2*time.Second, Unavailable))
+		l.CallEnded(ended(4*time.Second, ms, Unavailable))
+	}, NotifyDelay},
+	{"the same, before it", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallEnded(ended(1500*ms, ms, Unavailable))
+		l.CallEnded(ended(2*time.Second, 2*time.Second, Unavailable))
+		l.CallEnded(ended(4500*ms, ms, Unavailable))
+	}, 7500 * ms},
+	{"503 at once beside a call that waits", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallWaits()
+		l.CallEnded(ended(4*time.Second, ms, Unavailable))
+	}, NotifyDelay},
+	{"a reset at once after half a list", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallEnded(ended(1500*ms, ms, Incomplete))
+		l.CallEnded(ended(4*time.Second, ms, Reset))
+	}, NotifyDelay},
+	{"another watch, which the service ended too", Terms{DrainGrace: grace}, func(l *Lease) {
+		l.endWatch(time.Second)
+		l.CallEnded(ended(1500*ms, 2*time.Second, Unavailable))
+		l.endWatch(5 * time.Second)
+		l.CallEnded(ended(7*time.Second, ms, Unavailable))
+	}, 13 * time.Second},
+}
+
+// endWatch has the service end a watch that has just confirmed the list.
+func (l *Lease) endWatch(after time.Duration) {
+	l.Confirm(at(after-time.Second), 2)
+	l.CallEnded(ended(after-time.Second, time.Second, WatchEnded))
+}
+
 var pushed = Terms{DrainGrace: grace, Pushed: true}
 
 // pushedCases are of lists that are pushed.
@@ -140,7 +181,7 @@
 
 // What else there is: starts, reloads, pushed lists, a grace that covers no hold-up.
 func TestLeaseEnds(t *testing.T) {
-	for _, tt := range slices.Concat(askedCases, pushedCases) {
+	for _, tt := range slices.Concat(askedCases, outageCases, pushedCases) {
 		l := Start(at(0), tt.terms, 1, true)
 		tt.play(l)
 		status := l.Status()
--- a/internal/listlease/outcome.go
+++ b/internal/listlease/outcome.go
@@ -36,6 +36,15 @@
 // isPrompt reports whether the call ended so soon that it can't have waited too long.
 func (c Call) isPrompt() bool { return c.EndedAt.Sub(c.BegunAt) < promptAnswer }
 
+// showsReachable reports whether the call shows that discovery could be reached as it ended.
+func (c Call) showsReachable() bool {
+	switch c.Outcome {
+	case Incomplete, Spoilt, WatchSilent:
+		return true
+	}
+	return c.WaitedInVain()
+}
+
 // WaitedInVain reports whether discovery took the call, let it wait and had no time for it.
 func (c Call) WaitedInVain() bool {
 	switch c.Outcome {
