A call that is overdue ends no outage for the lease, one that waited in vain does

In the bench's outage calls wait as in a crowd, and an overdue call ended the sign of an outage before the calls that fail at once had renewed the lease. Change: only a call that has ended says that discovery could be reached. No check is taken away.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -124,14 +124,6 @@
 	w.sink.UpdateEndpoints(Update{Kind: balance.ListFailed, Generation: w.lastGeneration, Failure: failure})
 }
 
-// handleOverdue reports a call as failed that goes on.
-func (w *Watcher) handleOverdue(c *call) {
-	if c.reached >= progressConnected {
-		w.lease.CallWaits()
-	}
-	w.reportFailure(c, "overdue", errOverdue, balance.CallFailed)
-}
-
 // discardPollRequest voids a requested poll.
 func (w *Watcher) discardPollRequest() {
 	select {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -121,7 +121,7 @@
 		case <-pollRequested:
 			w.startCall(ctx)
 		case <-overdue:
-			w.handleOverdue(w.calls[len(w.calls)-1])
+			w.reportFailure(w.calls[len(w.calls)-1], "overdue", errOverdue, balance.CallFailed)
 		case <-w.termsChanged:
 			w.lease.SetTerms(w.currentTerms())
 			w.publishLease()
--- a/internal/listlease/lease.go
+++ b/internal/listlease/lease.go
@@ -110,9 +110,6 @@
 	}
 }
 
-// CallWaits takes that a call whose connection is up waits for an answer for longer than one that fails at once.
-func (l *Lease) CallWaits() { l.mayBeDown = false }
-
 // renewableUntil is until when a sign that discovery is down renews the lease. Where lists are pushed that is after its
 // end: a watch that discovery ended as it went down has nothing to count, and the first call comes later.
 func (l *Lease) renewableUntil() time.Time {
