--- a/balance/endpoints.go
+++ b/balance/endpoints.go
@@ -67,7 +67,8 @@
 	b.emit(SetTimer{Delay: pause + b.settings.Tick})
 }
 
-// longestBackoff is the longest pause after a call that has failed. Where calls wait in vain it doubles with each.
+// longestBackoff is the longest pause after a call that has failed. Where calls wait in vain it doubles with
+// each.
 func (b *Balancer) longestBackoff(failure ListFailure) time.Duration {
 	switch failure {
 	case CallRejected:
