Failing test: a hold-up before a batched write over a shared socket loses a datagram

Traced: a batch's write deadline is 10 ms, set before the write; a process that is held up for longer in between writes with a deadline that has passed, and the runtime does not try.

--- a/internal/udp/sharedsocket_test.go
+++ b/internal/udp/sharedsocket_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 )
 
 // Over shared sockets a reply reaches a client only while its flow is bound to the endpoint
@@ -99,3 +100,22 @@
 	}
 	checkBalance(t, &listener.Counts)
 }
+
+// A process that is held up between setting a write's deadline and the write loses no datagram: the socket has space.
+func TestHeldUpBeforeAWriteLosesNothing(t *testing.T) {
+	listener, _, _ := startListener(t, withSharedSockets)
+	client := dial(t, listener)
+	client.send("1")
+	client.expect("a:1")
+	listener.mu.Lock()
+	for _, socket := range listener.sharedSockets { // as it is after a hold-up
+		socket.writeDeadline = time.Now().Add(time.Hour)
+		_ = socket.conn.SetWriteDeadline(time.Now().Add(-time.Millisecond))
+	}
+	listener.mu.Unlock()
+	client.send("2")
+	client.expect("a:2")
+	if unsent := listener.Counts.Unsent.Load(); unsent != 0 {
+		t.Errorf("%d datagrams unsent", unsent)
+	}
+}
