A batched write over a shared socket is tried again if its deadline passed before it

Cause: see the failing test before: the time between setting a write's deadline and the write counted as waiting for space in the socket's buffer. Change: the deadline is renewed once in a batch that meets it.

--- a/internal/udp/send.go
+++ b/internal/udp/send.go
@@ -1,6 +1,8 @@
 package udp
 
 import (
+	"errors"
+	"os"
 	"time"
 
 	"golang.org/x/net/ipv4"
@@ -104,17 +106,22 @@
 // extendWriteDeadline leaves each batch writeTimeout at least. It sets the deadline for several
 // batches at once, since that costs as much as a datagram.
 func (s *upstreamSocket) extendWriteDeadline() {
-	now := time.Now()
-	if now.Add(writeTimeout).After(s.writeDeadline) {
-		s.writeDeadline = now.Add(2 * writeTimeout)
-		_ = s.conn.SetWriteDeadline(s.writeDeadline)
+	if time.Now().Add(writeTimeout).After(s.writeDeadline) {
+		s.renewWriteDeadline()
 	}
 }
 
-// writeMessages writes a batch, counts its datagrams and returns whether the endpoint refused any.
+func (s *upstreamSocket) renewWriteDeadline() {
+	s.writeDeadline = time.Now().Add(2 * writeTimeout)
+	_ = s.conn.SetWriteDeadline(s.writeDeadline)
+}
+
+// writeMessages writes a batch, counts its datagrams and returns whether the endpoint refused any. The deadline may
+// have passed before the write while the process was held up; so it is renewed once.
 func (l *Listener) writeMessages(socket *upstreamSocket, pending []ipv4.Message) (refused bool) {
 	segmenter := &socket.segmenter
 	messages := segmenter.join(pending)
+	mayRenew := true
 	for next := 0; next < len(messages); {
 		written, err := socket.packets.WriteBatch(messages[next:], 0)
 		for range written { // none if it is negative
@@ -124,6 +131,11 @@
 		if err == nil || next == len(messages) {
 			continue
 		}
+		if mayRenew && errors.Is(err, os.ErrDeadlineExceeded) {
+			mayRenew = false
+			socket.renewWriteDeadline()
+			continue
+		}
 		datagrams := segmenter.datagramsIn(next)
 		if isRefused(err) {
 			refused = true // an ICMP error for an earlier write; this message would reach nobody either
