zones scenario: the steps of a zone's return count from its evacuation on

Traced by the status changes of such a run: all four steps are there, some before the servers are restarted, as the return may begin while unresponsive servers stand in for the killed ones. Change: steps count since the kill; at least three are wanted as before.

--- a/internal/scenario/zones/server_faults.go
+++ b/internal/scenario/zones/server_faults.go
@@ -44,9 +44,9 @@
 		s.MarkCold(v)
 	}
 	s.checkRecovers(ctx, "cold")
-	steps := map[int]bool{} // of the recovery ramp
+	steps := map[int]bool{} // of the recovery ramp, which may begin while unresponsive servers stand in for the killed
 	isRecovering := func(p agentapi.ZoneStatus) bool { return p.Zone == zone && p.Step > 0 }
-	for _, p := range s.watcher.statusChangesSince(restartedAt, isRecovering) {
+	for _, p := range s.watcher.statusChangesSince(begun, isRecovering) {
 		steps[p.Step] = true
 	}
 	s.SetMetric("cold_steps_seen", float64(len(steps)))
