--- a/cmd/coralrelay/exhausted_test.go
+++ b/cmd/coralrelay/exhausted_test.go
@@ -14,14 +14,23 @@
 // limitDescriptors leaves a process no descriptor beyond those that it holds, until the function that is returned is
 // called.
 func (p *process) limitDescriptors() (restore func()) {
+	p.t.Helper()
+	lowestFree := uint64(0)
+	for p.holdsDescriptor(lowestFree) {
+		lowestFree++
+	}
+	return p.limitDescriptorsTo(lowestFree)
+}
+
+// limitDescriptorsTo leaves a process no new descriptor from a number on, until the function that is returned is called.
+func (p *process) limitDescriptorsTo(number uint64) (restore func()) {
 	p.t.Helper()
 	var before unix.Rlimit
 	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
 		p.t.Fatal(err)
 	}
 	limited := before
-	for limited.Cur = 0; p.holdsDescriptor(limited.Cur); limited.Cur++ { // the limit is of their numbers
-	}
+	limited.Cur = number
 	p.setDescriptorLimit(limited)
 	return func() { p.setDescriptorLimit(before) }
 }
--- a/cmd/coralrelay/reloadexhausted_test.go
+++ b/cmd/coralrelay/reloadexhausted_test.go
@@ -8,23 +8,13 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // A new configuration that comes while no descriptor is left takes force once there is one: nobody hangs
 // up a second time.
 func TestReloadOutlastsAWantOfDescriptors(t *testing.T) {
 	p, addr, path, _ := startServingNode(t, 1024)
-	var before unix.Rlimit
-	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
-		t.Fatal(err)
-	}
-	limited := before
-	limited.Cur = 3 // each new descriptor is beyond it
-	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &limited, nil); err != nil {
-		t.Fatal(err)
-	}
+	restore := p.limitDescriptorsTo(3) // each new descriptor is beyond it
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -34,9 +24,7 @@
 	}
 	p.signal(syscall.SIGHUP)
 	time.Sleep(100 * time.Millisecond) // of the want
-	if err := unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &before, nil); err != nil {
-		t.Fatal(err)
-	}
+	restore()
 	p.untilMetrics("balancer.cfg_accepted:1|c\r\nbalancer.cfg_invalid:0|c\r\n")
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
