A full node accepts at full speed: rejected clients give their sockets up at once

Cause: where sessions take all sockets, every connection is rejected by way of two sockets for lingering clients, and one that stays held its socket for 25 ms. The accept loop spent 94 to 99 % of its time in awaitCapacity, accepts fell from 4,000 to 7,000 a second to 80, and the kernel's queue filled to its 4,096. A client that begins to linger did not wake the loop.

Change: a client whose request was read may be cut short at once; others 25 ms after their last byte or connect, 5 ms after their answer. What has arrived is discarded before the close. INFO shows accept_queue and accept_wait_ms.

--- a/cmd/coralrelay/admin.go
+++ b/cmd/coralrelay/admin.go
@@ -35,12 +35,16 @@
 	eventLoop *dispatch.EventLoop
 	watcher   *discovery.Watcher
 	metrics   *metrics.Registry
+	// acceptQueue returns how many connections wait to be accepted.
+	acceptQueue func() int
 }
 
 // Metrics implements admin.Node.
 func (n adminNode) Metrics() string {
 	return n.metrics.Text(metrics.Gauges{
 		OpenSessions:     n.OpenSessions(),
+		AcceptQueue:      n.acceptQueue(),
+		AcceptWait:       n.LastAcceptWait(),
 		ListedEndpoints:  n.pool.EndpointCount(),
 		AvoidedEndpoints: n.eventLoop.AvoidedCount(),
 		List:             n.listMetrics(time.Now()),
--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -33,8 +33,9 @@
 	goroutines   sync.WaitGroup      // all that end with the context of start
 
 	// Of openListener.
-	listener net.Listener
-	lock     *instancelock.Lock // nil if this process shares the listener with nobody
+	listener    net.Listener
+	acceptQueue func() int         // how many connections wait to be accepted
+	lock        *instancelock.Lock // nil if this process shares the listener with nobody
 
 	// Of build.
 	pool      *upstream.Pool
@@ -88,10 +89,16 @@
 // openListener opens the clients' listener, or takes over the one that the platform holds.
 func (n *node) openListener() (err error) {
 	listener, err := openClientListener(n.cfg)
-	if err == nil {
-		n.listener = sysfault.Listener(listener)
+	if err != nil {
+		return err
 	}
-	return err
+	if err := limitBacklog(listener, n.cfg.Limits.Sockets); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	n.acceptQueue = func() int { return acceptQueue(listener) }
+	n.listener = sysfault.Listener(listener)
+	return nil
 }
 
 // acquireLock acquires the lock that this process shares with its sibling, if it may have one.
@@ -172,7 +179,7 @@
 		n.server.Resumptions = n.resumption.factory
 	}
 	operations := adminNode{Server: n.server, pool: n.pool, eventLoop: n.eventLoop, watcher: n.watcher,
-		metrics: n.metrics}
+		metrics: n.metrics, acceptQueue: n.acceptQueue}
 	if err := startAdmin(ctx, &n.goroutines, n.cfg.AdminAddr, operations); err != nil {
 		return err
 	}
--- a/internal/bufconn/conn.go
+++ b/internal/bufconn/conn.go
@@ -183,6 +183,7 @@
 	c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(linger))
 	c.DiscardInput()
+	_ = DiscardArrived(c.Conn)
 	c.Release()
 	return err
 }
--- a/internal/downstream/adopt.go
+++ b/internal/downstream/adopt.go
@@ -24,7 +24,7 @@
 		defer s.wg.Done()
 		session.Run()
 		s.removeAdopted(client, session)
-		s.signalSocketFreed()
+		s.signalCapacity()
 	}()
 	return true
 }
--- a/internal/downstream/capacity.go
+++ b/internal/downstream/capacity.go
@@ -8,8 +8,14 @@
 	"coralrelay/internal/proxy"
 )
 
-// minLinger is how long a client lingers at least, also when others wait for its socket.
-const minLinger = 25 * time.Millisecond
+const (
+	// minLinger is how long a client that may still be sending its request lingers at least after its last
+	// byte, or its connect, also when others wait for its socket.
+	minLinger = 25 * time.Millisecond
+	// minAnswerLinger is how long it lingers at least after its answer: what it had under way when it got it
+	// arrives within that.
+	minAnswerLinger = 5 * time.Millisecond
+)
 
 // LingeringSockets returns how many sockets lingering clients may use beside the given
 // number of sockets of clients and upstreams.
@@ -38,14 +44,14 @@
 func (s *Server) awaitCapacity() {
 	for wait := s.makeCapacity(); wait > 0; wait = s.makeCapacity() {
 		select {
-		case <-s.socketFreed:
+		case <-s.capacitySignal:
 		case <-time.After(wait):
 		}
 	}
 }
 
 // makeCapacity returns 0 if there is capacity for one more client. Else it evicts one, or
-// cuts the oldest lingering one short, and returns when to look again. Half of the lingering
+// cuts a lingering one short, and returns when to look again. Half of the lingering
 // sockets are left to clients that admit rejects.
 func (s *Server) makeCapacity() time.Duration {
 	s.mu.Lock()
@@ -62,23 +68,41 @@
 	if len(s.clients)-len(s.sessions) < maxLingering {
 		return 0
 	}
-	return s.cutOldestLingering()
+	return s.cutLingering()
 }
 
-// cutOldestLingering ends the client that has lingered for longest, once that is minLinger.
-// It returns when to look again. The lock is held.
-func (s *Server) cutOldestLingering() time.Duration {
-	oldest := s.lingering.Front()
-	if oldest == nil {
-		return minLinger
+// startLinger has a client that was given its last answer linger, and says from when on it may be cut
+// short. A client whose request was read has nothing more to send, and may be at once.
+func (s *Server) startLinger(client *pendingClient) {
+	shortest := time.Duration(0)
+	if !client.requestRead {
+		shortest = max(minLinger-bufconn.SinceLastArrival(client.conn), minAnswerLinger)
 	}
-	client := oldest.Value.(*pendingClient)
-	if remaining := minLinger - time.Since(client.lingersSince); remaining > 0 {
-		return remaining
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	client.evictableAt = now.Add(shortest)
+	_ = client.conn.SetReadDeadline(now.Add(lingerTimeout))
+	s.signalCapacity()
+}
+
+// cutLingering ends the client that has lingered for longest of those that may be cut short. It returns
+// when to look again, if nothing signals before. The lock is held.
+func (s *Server) cutLingering() time.Duration {
+	now, lookAgainIn := time.Now(), minLinger
+	for element := s.lingering.Front(); element != nil; element = element.Next() {
+		client := element.Value.(*pendingClient)
+		switch remaining := client.evictableAt.Sub(now); {
+		case client.evictableAt.IsZero(): // not answered yet
+		case remaining > 0:
+			lookAgainIn = min(lookAgainIn, remaining)
+		default:
+			s.lingering.Remove(element)
+			_ = client.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
+			return minLinger
+		}
 	}
-	s.lingering.Remove(oldest)
-	_ = client.conn.SetReadDeadline(bufconn.PastDeadline) // what it still sends is not read any more
-	return minLinger
+	return lookAgainIn
 }
 
 // admit says whether a session that client has opened may be served, and adds it then. While the
@@ -93,7 +117,7 @@
 	refusal := lifecycle.MayAccept(time.Now(), lifecycle.Listener{
 		Draining:    s.draining,
 		RejectAt:    s.rejectAt,
-		Evicted:     client.lingers(),
+		Evicted:     client.lingers,
 		HasCapacity: s.socketsUsed() < s.limits.Sockets || s.canEvictOtherThan(client),
 	})
 	if refusal != lifecycle.None {
@@ -111,16 +135,16 @@
 // canEvictOtherThan reports whether an idle client other than one can make way. The lock is held.
 func (s *Server) canEvictOtherThan(client *pendingClient) bool {
 	others := s.idle.Len()
-	if !client.lingers() {
+	if !client.lingers {
 		others--
 	}
 	return others > 0 && s.lingeringCount < LingeringSockets(s.limits.Sockets)
 }
 
-// signalSocketFreed wakes awaitCapacity.
-func (s *Server) signalSocketFreed() {
+// signalCapacity wakes awaitCapacity.
+func (s *Server) signalCapacity() {
 	select {
-	case s.socketFreed <- struct{}{}:
+	case s.capacitySignal <- struct{}{}:
 	default:
 	}
 }
--- a/internal/downstream/capacity_test.go
+++ b/internal/downstream/capacity_test.go
@@ -88,3 +88,38 @@
 	}
 	stop()
 }
+
+// Clients that a full server rejects, and that stay, make way for the next ones: once each held one of a few sockets for
+// 25 ms, and whoever came behind them waited for seconds.
+func TestFullServerRejectsManyThatStay(t *testing.T) {
+	const sockets, newcomers, limit = 32, 300, 2 * time.Second
+	dispatcher := newParkingDispatcher()
+	s := New(dispatcher, nil, Limits{Sockets: sockets})
+	listener := listen(t)
+	stopServing := serve(t, s, listener)
+	for i := range sockets / 2 {
+		conn := dial(t, listener)
+		defer conn.Close()
+		fmt.Fprintf(conn, "OPEN a%d k c=feed,d=40000\r\n", i)
+		<-dispatcher.submitted
+	}
+	begun := time.Now()
+	var rejected []net.Conn
+	for i := range newcomers {
+		conn := dial(t, listener)
+		defer conn.Close()
+		fmt.Fprintf(conn, "OPEN b%d k c=feed,d=900\r\n", i)
+		rejected = append(rejected, conn)
+	}
+	for i, conn := range rejected {
+		_ = conn.SetDeadline(begun.Add(testTimeout))
+		if text := readAll(t, conn); text != "BUSY\r\n" {
+			t.Fatalf("newcomer %d: %q", i, text)
+		}
+	}
+	if took := time.Since(begun); took > limit {
+		t.Errorf("%d newcomers were rejected in %v, want %v", newcomers, took, limit)
+	}
+	stopServing()
+	s.Close()
+}
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"bytes"
 	"errors"
 	"os"
 	"time"
@@ -53,6 +54,7 @@
 			}
 			continue
 		}
+		client.requestRead = true
 		request, err := lineproto.ParseConnectRequest(text)
 		if err != nil {
 			s.rejectFirstLine(client, conn, err)
@@ -73,6 +75,7 @@
 	evicted := timedOut && time.Now().Before(client.deadline)
 	switch {
 	case timedOut && silent, evicted:
+		client.requestRead = endsRequest(bufconn.DiscardArrived(client.conn))
 		audit.Count(audit.CloseNoFirstLine)
 		_ = s.lingeringClose(client, conn, s.busyLine())
 	case silent: // the client has left
@@ -82,6 +85,11 @@
 	}
 }
 
+// endsRequest reports whether the last bytes that a client has sent end its request, so that nothing follows.
+func endsRequest(last []byte) bool {
+	return bytes.HasSuffix(last, []byte("\n")) && !bytes.HasPrefix(last, []byte(lineproto.Ping))
+}
+
 // runSession serves a request to its end.
 func (s *Server) runSession(client *pendingClient, conn *bufconn.Conn, request lineproto.ConnectRequest) {
 	session := s.newSession(conn, &request)
@@ -150,7 +158,13 @@
 	s.mu.Lock()
 	s.evict(client)
 	s.mu.Unlock()
-	return conn.LingeringClose(answer, time.Now().Add(answerWriteTimeout), lingerTimeout)
+	err := conn.WriteLine(answer, time.Now().Add(answerWriteTimeout))
+	conn.CloseWrite()
+	s.startLinger(client)
+	conn.DiscardInput()
+	_ = bufconn.DiscardArrived(client.conn) // it may have been cut short, and unread input would reset the connection
+	conn.Release()
+	return err
 }
 
 // busyLine is the answer to a client that is rejected before its request was read.
--- a/internal/downstream/listen.go
+++ b/internal/downstream/listen.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"coralrelay/internal/bufconn"
 	"coralrelay/internal/neterr"
 )
 
@@ -29,6 +30,7 @@
 			s.rejectAtOnce(conn)
 			spare.acquire()
 		case err == nil:
+			s.lastAcceptWait.Store(int64(bufconn.SinceLastArrival(conn)))
 			// Added here, so that awaitCapacity counts it.
 			client := s.addClient(conn, time.Now().Add(firstLineTimeout))
 			s.wg.Go(func() { s.serveClient(client) })
@@ -54,7 +56,7 @@
 	if s.lingeringCount < LingeringSockets(s.limits.Sockets) && s.evictLongestIdle(nil) {
 		return true
 	}
-	s.cutOldestLingering()
+	s.cutLingering()
 	return s.lingeringCount > 0
 }
 
--- a/internal/downstream/pendingclient.go
+++ b/internal/downstream/pendingclient.go
@@ -11,15 +11,14 @@
 // pendingClient is a client's connection that has no session. It is idle until its first
 // line arrives, or it lingers: it gets its last answer, and its input is discarded.
 type pendingClient struct {
-	conn         net.Conn
-	deadline     time.Time     // for its first line
-	element      *list.Element // of Server.idle, then of Server.lingering
-	lingersSince time.Time     // zero if it does not linger
+	conn        net.Conn
+	deadline    time.Time     // for its first line
+	element     *list.Element // of Server.idle, then of Server.lingering
+	lingers     bool          // it gets its last answer, or has got it
+	requestRead bool          // its first line was read to its end; set by its goroutine before it lingers
+	evictableAt time.Time     // it may be closed from then on if others wait; zero until it was answered
 }
 
-// lingers reports whether the client gets its last answer, or has got it.
-func (c *pendingClient) lingers() bool { return !c.lingersSince.IsZero() }
-
 // addClient adds a connection that was accepted. It is idle until the deadline at the latest.
 func (s *Server) addClient(conn net.Conn, deadline time.Time) *pendingClient {
 	s.mu.Lock()
@@ -49,11 +48,11 @@
 // evict makes an idle client linger: its read is interrupted, upon which serveClient gives
 // it its last answer. A second call changes nothing. The lock is held.
 func (s *Server) evict(client *pendingClient) {
-	if client.lingers() {
+	if client.lingers {
 		return
 	}
 	s.idle.Remove(client.element)
-	client.lingersSince = time.Now()
+	client.lingers = true
 	client.element = s.lingering.PushBack(client)
 	s.lingeringCount++
 	_ = client.conn.SetReadDeadline(bufconn.PastDeadline)
@@ -65,9 +64,9 @@
 	defer s.mu.Unlock()
 	delete(s.clients, client.conn)
 	s.idle.Remove(client.element)
-	if client.lingers() {
+	if client.lingers {
 		s.lingering.Remove(client.element)
 		s.lingeringCount--
 	}
-	s.signalSocketFreed()
+	s.signalCapacity()
 }
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -60,9 +60,10 @@
 	attempts        dispatch.AttemptStarter // to upstreams of the line protocol
 	limits          Limits
 	retryAfter      atomic.Int64 // Limits.RetryAfter in nanoseconds, which may change
+	lastAcceptWait  atomic.Int64 // in nanoseconds, see LastAcceptWait
 	rejectedLineLog logging.Throttled
 	acceptErrorLog  logging.Throttled
-	socketFreed     chan struct{} // buffers one signal: a client has ended, there may be capacity
+	capacitySignal  chan struct{} // buffers one signal: a client has ended or may be, there may be capacity
 
 	mu             sync.Mutex              // guards what follows, and limits.Sockets
 	accepting      bool                    // Serve runs
@@ -84,12 +85,12 @@
 // attempts.
 func New(dispatcher Dispatcher, attempts dispatch.AttemptStarter, limits Limits) *Server {
 	s := &Server{
-		dispatcher:  dispatcher,
-		attempts:    attempts,
-		limits:      limits,
-		sessions:    map[*proxy.Session]bool{},
-		clients:     map[net.Conn]struct{}{},
-		socketFreed: make(chan struct{}, 1),
+		dispatcher:     dispatcher,
+		attempts:       attempts,
+		limits:         limits,
+		sessions:       map[*proxy.Session]bool{},
+		clients:        map[net.Conn]struct{}{},
+		capacitySignal: make(chan struct{}, 1),
 	}
 	s.SetRetryAfter(limits.RetryAfter)
 	return s
@@ -99,6 +100,10 @@
 // request was read.
 func (s *Server) SetRetryAfter(retryAfter time.Duration) { s.retryAfter.Store(int64(retryAfter)) }
 
+// LastAcceptWait returns how long the client that was accepted last had waited for that since its last byte, or
+// since its connect if it had sent nothing.
+func (s *Server) LastAcceptWait() time.Duration { return time.Duration(s.lastAcceptWait.Load()) }
+
 // SocketsInUse returns how many sockets are in use, or may be: one for each client, one
 // more for the upstream of each session.
 func (s *Server) SocketsInUse() int {
--- a/internal/downstream/spare.go
+++ b/internal/downstream/spare.go
@@ -11,8 +11,11 @@
 
 const (
 	// spareReadTimeout is how long a client that was accepted with the last descriptor may take for its first line:
-	// usual clients have sent it by then. Others wait for the descriptor meanwhile.
+	// usual clients have sent it by then. Others wait for the descriptor meanwhile. It counts from the client's
+	// last byte, or its connect.
 	spareReadTimeout = 10 * time.Millisecond
+	// spareMinReadTimeout is what a client is given that has waited for longer: what it has sent can be read.
+	spareMinReadTimeout = time.Millisecond
 	// spareLinger is how long such a client may take to close after its answer.
 	spareLinger = 5 * time.Millisecond
 )
@@ -45,7 +48,12 @@
 func (s *Server) rejectAtOnce(client net.Conn) {
 	audit.Count(audit.RefuseRequestCapacity)
 	conn := bufconn.New(client)
-	_ = conn.SetReadDeadline(time.Now().Add(spareReadTimeout))
-	_, _ = conn.ReadTextLine() // unread input would reset the connection before the answer was read
-	_ = conn.LingeringClose(s.busyLine(), time.Now().Add(spareReadTimeout), spareLinger)
+	waited := bufconn.SinceLastArrival(client)
+	_ = conn.SetReadDeadline(time.Now().Add(max(spareReadTimeout-waited, spareMinReadTimeout)))
+	_, err := conn.ReadTextLine() // unread input would reset the connection before the answer was read
+	linger := spareLinger
+	if err == nil { // its request was read, and it has nothing more to send
+		linger = 0
+	}
+	_ = conn.LingeringClose(s.busyLine(), time.Now().Add(spareReadTimeout), linger)
 }
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -104,6 +104,8 @@
 // Gauges are numbers of the moment.
 type Gauges struct {
 	OpenSessions     int
+	AcceptQueue      int           // connections that wait to be accepted
+	AcceptWait       time.Duration // how long the last one that was accepted had waited, or had been silent
 	ListedEndpoints  int
 	AvoidedEndpoints int // listed, and left out of all or most draws
 	List             List
@@ -147,6 +149,8 @@
 	for _, calls := range gauges.List.Calls {
 		write("registry_calls."+calls.Name, calls.Value, counter)
 	}
+	write("accept_queue", int64(gauges.AcceptQueue), gauge)
+	write("accept_wait_ms", gauges.AcceptWait.Milliseconds(), gauge)
 	for _, rejections := range gauges.Rejections {
 		write("rejections."+rejections.Name, rejections.Value, counter)
 	}
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -35,10 +35,13 @@
 balancer.cfg_invalid:2|c
 balancer.registry_age_ms:1250|g
 balancer.registry_calls.reset:3|c
+balancer.accept_queue:7|g
+balancer.accept_wait_ms:40|g
 balancer.rejections.no_server:4|c
 `, "\n", "\r\n")
 	gauges := Gauges{
 		OpenSessions: 14, ListedEndpoints: 5, AvoidedEndpoints: 2,
+		AcceptQueue: 7, AcceptWait: 40 * time.Millisecond,
 		List:       List{Age: 1250 * time.Millisecond, Calls: []Count{{"reset", 3}}},
 		Rejections: []Count{{"no_server", 4}},
 	}
