Reconnect waves: turns deal a cold server's budget among up to 32 instances

Cause, from a line for each attempt at a cold server: 14 attempts at 14 instances, each the first there (count 0), all of clients that came again; their budgets at an instance were 0.002 to 0.05. The floor of 1.5 at each of 32 instances is 48 in any time, also in 0.8 s, where the settings allow 4.3 and chance. It followed from no setting.

Change: just after a server has dropped its connections (one window of the settings), requests of clients that come again, and further attempts, go to a cold server only from the instances whose turn it is, a share of them by N + 3 x root of N + 3 over two windows, N from the settings. The turn is a hash of server, window and instance, so the sum is kept without a word.

--- a/balance/affinity.go
+++ b/balance/affinity.go
@@ -72,7 +72,7 @@
 func (b *Balancer) decideAffinityServer(r *request, s *server, answered bool) {
 	load := b.estimatedLoad(s)
 	isLow := load < maxLowLoad || b.level(load) <= b.level(r.round.bestLoad)
-	if answered && load >= 0 && b.hasCapacity(s) && isLow {
+	if answered && load >= 0 && b.hasCapacity(r, s) && isLow {
 		b.sendAttempt(r, s)
 		return
 	}
--- a/balance/draw.go
+++ b/balance/draw.go
@@ -92,7 +92,7 @@
 // drawShare is the part of its draws for r that a server keeps where r is allowed: by what it can bear,
 // its faults, its zone and r's constraint.
 func (b *Balancer) drawShare(r *request, s *server) float64 {
-	if !b.hasCapacity(s) {
+	if !b.hasCapacity(r, s) {
 		return 0
 	}
 	share := b.faultShare(s) * b.constraintShare(r, s)
@@ -119,7 +119,7 @@
 // at level 0 or 1.
 func (b *Balancer) considerDraw(r *request, s *server) bool {
 	load := b.estimatedLoad(s)
-	if load < 0 || !b.hasCapacity(s) {
+	if load < 0 || !b.hasCapacity(r, s) {
 		return false
 	}
 	if r.round.best == nil || load < r.round.bestLoad {
@@ -161,7 +161,7 @@
 		if load < 0 {
 			load = maxLowLoad
 		}
-		if load < least && b.hasCapacity(s) {
+		if load < least && b.hasCapacity(r, s) {
 			best, least = s, load
 		}
 	}
--- a/balance/handle.go
+++ b/balance/handle.go
@@ -84,6 +84,7 @@
 	b.migration.refilledAt = b.now
 	b.fleet.recentPlacements.updatedAt = b.now
 	b.fleet.baselinePlacements.updatedAt = b.now
+	b.fleet.lastResetAt = -time.Hour
 	b.startSubscription()
 	b.emit(SetTimer{Delay: maintenanceInterval, Token: maintenanceToken})
 }
--- a/balance/placement.go
+++ b/balance/placement.go
@@ -21,7 +21,7 @@
 // sendAttempt sends r to s, unless s has left meanwhile or has taken all that it can, or r's key window
 // has ended.
 func (b *Balancer) sendAttempt(r *request, s *server) {
-	if b.isListExpired() || !b.hasCapacity(s) || !b.isAllowed(r, s) {
+	if b.isListExpired() || !b.hasCapacity(r, s) || !b.isAllowed(r, s) {
 		b.enqueue(r)
 		return
 	}
@@ -75,6 +75,8 @@
 		b.recordFault(r.server)
 		if b.now-r.startedAt < earlyResetAge {
 			b.reduceWindow()
+		} else {
+			b.fleet.lastResetAt = b.now
 		}
 	}
 	b.forgetRequest(r)
--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -3,7 +3,10 @@
 // How much may a server be sent that has just started? What it can bear grows over the slow start
 // window, and all instances together keep to its budget.
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowStartBudgetFraction is the part of a cold server's budget that all instances together use on
@@ -17,14 +20,19 @@
 	// one of many, on top of the first.
 	fleetSpareAttempts = 32.0
 	minSpareAttempts   = 0.5
+	// waveWindows is how many windows of a budget the clients that a server has dropped take to come again.
+	waveWindows = 1
+	// chanceFactor, of the root of N, and chanceAttempts are put down to chance beyond the N attempts that a
+	// cold server may be sent.
+	chanceFactor, chanceAttempts = 3.0, 3.0
 )
 
-// hasCapacity reports whether s may be sent one more attempt: it is ready, its zone has a token left
+// hasCapacity reports whether s may be sent one more attempt, of r: it is ready, its zone has a token left
 // and, while it is cold, its budget at this instance holds one more. Its share of the draws keeps to
 // the budget on average; but a wave is known only when it has come, many requests wait for one probe,
 // and a request draws more than once. What was sent to it decays over the time that the budget is for,
 // so that this much at once and this much again in that time are the whole budget.
-func (b *Balancer) hasCapacity(s *server) bool {
+func (b *Balancer) hasCapacity(r *request, s *server) bool {
 	if !s.isReady() || !b.zoneHasTokens(s) {
 		return false
 	}
@@ -36,7 +44,39 @@
 		return s.tokensUsed < s.tokens && b.now < b.quota.tokensExpireAt
 	}
 	budget := b.slowStartBudget(s, capacity)
-	return s.recentAttempts.value(b.now) <= max(budget-1, b.spareAttempts())
+	limit := budget - 1
+	if share := b.waveShare(budget); share >= 1 || !isOfWave(r) || b.hasTurn(s, share) {
+		limit = max(limit, b.spareAttempts())
+	}
+	return s.recentAttempts.value(b.now) <= limit
+}
+
+// isOfWave reports whether r may be one of many that come at once: its client has come again, or an attempt
+// has failed.
+func isOfWave(r *request) bool { return r.Reconnecting || r.ClientRetry || r.attemptCount > 0 }
+
+// waveShare is the share of the instances that may send to a cold server in a wave, in each window that its
+// budget is for: just after a server has dropped its connections it is half of what the settings allow and
+// what beyond that is put down to chance, as two windows overlap. It is 1 at other times, and where so many
+// instances share the traffic that none knows how much that is.
+func (b *Balancer) waveShare(budget float64) float64 {
+	processes := float64(max(b.settings.Instances, 1) * b.settings.Processes)
+	isAfterReset := b.now-b.fleet.lastResetAt < waveWindows*b.fleet.recentPlacements.timeConstant
+	if !isAfterReset || b.settings.Instances > fleetSpareAttempts {
+		return 1
+	}
+	allowed := budget / slowStartBudgetFraction * processes
+	return (allowed + chanceFactor*math.Sqrt(allowed) + chanceAttempts) / 2 / processes
+}
+
+// hasTurn reports whether this instance is one of those that may send to a cold server in the present window
+// of its budget, where that is a share of them. The server's name and the number of the window say which
+// instances have the turn, so that all agree on it without a word, and each has one as often.
+func (b *Balancer) hasTurn(s *server, share float64) bool {
+	window := math.Floor((b.now - s.StartedAt).Seconds() / s.recentAttempts.timeConstant.Seconds())
+	offset := float64(ringHash(s.ID)>>32) / (1 << 32)
+	position := offset + float64(b.settings.Instance)/float64(max(b.settings.Instances, 1)) + window*math.Phi
+	return position-math.Floor(position) < share
 }
 
 // spareAttempts is how many attempts, on top of the first, a cold server's budget at this process holds at
--- a/balance/slowstart_test.go
+++ b/balance/slowstart_test.go
@@ -139,7 +139,7 @@
 		d := newDriver(t, settings, "a", "b", "c", "d")
 		d.updateList(ListDelta, ServerEntry{ID: "a", StartedAt: d.now})
 		s, attempts := d.balancer.servers.byID["a"], 0
-		for ; d.balancer.hasCapacity(s); attempts++ {
+		for ; d.balancer.hasCapacity(&request{}, s); attempts++ {
 			s.recentAttempts.add(d.balancer.now, 1)
 		}
 		if attempts != want {
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,9 +44,10 @@
 
 // fleetEstimate is what this instance has learned of the fleet as a whole.
 type fleetEstimate struct {
-	meanLoad     float64 // of recent load reports
-	loadSamples  float64 // reports that meanLoad is taken from, up to maxLoadSamples
-	fewestFaults float64 // recent faults of the ready server that has the fewest
+	lastResetAt  time.Duration // when a server last dropped a connection that had stood
+	meanLoad     float64       // of recent load reports
+	loadSamples  float64       // reports that meanLoad is taken from, up to maxLoadSamples
+	fewestFaults float64       // recent faults of the ready server that has the fewest
 
 	probeRTT          float64 // usual round-trip time of a probe, in seconds; 0 before the first
 	probeRTTDeviation float64 // and its mean deviation, in seconds
