The floor at cold servers is for a time: turns by the settings' window, in place of N

Cause: N from an instance's own traffic is too little, 0.9 where 4.3 are allowed, so that cold servers starve. Where the settings' time is 1.5 s the floor had held; at 0.8 s it let as many through in half of the time.

Change: the floor is for 1.5 s. After a drop the part of the instances that the window is of it has the turn, in fleets of any size.

Measured: TestReconnectWaveBesideColdServers has no break (60 cases of 32 instances and fewer servers or time: 3 failed as found); the large fleets' 237 breaks of N's rule (no turns beyond 32) are 121, and stay listed.

--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -22,9 +22,9 @@
 	minSpareAttempts   = 0.5
 	// waveWindows is how many windows of a budget the clients that a server has dropped take to come again.
 	waveWindows = 1
-	// chanceFactor, of the root of N, and chanceAttempts are put down to chance beyond the N attempts that a
-	// cold server may be sent.
-	chanceFactor, chanceAttempts = 3.0, 3.0
+	// spareTime is how long the floors of all instances are for, at the least: what wave they let pass comes
+	// within less.
+	spareTime = 1500 * time.Millisecond
 )
 
 // hasCapacity reports whether s may be sent one more attempt, of r: it is ready, its zone has a token left
@@ -45,7 +45,7 @@
 	}
 	budget := b.slowStartBudget(s, capacity)
 	limit := budget - 1
-	if share := b.waveShare(budget); share >= 1 || !isOfWave(r) || b.hasTurn(s, share) {
+	if share := b.waveShare(); share >= 1 || !isOfWave(r) || b.hasTurn(s, share) {
 		limit = max(limit, b.spareAttempts())
 	}
 	return s.recentAttempts.value(b.now) <= limit
@@ -56,17 +56,14 @@
 func isOfWave(r *request) bool { return r.Reconnecting || r.ClientRetry || r.attemptCount > 0 }
 
 // waveShare is the share of the instances that may send to a cold server in a wave, in each window that its
-// budget is for: just after a server has dropped its connections it is half of what the settings allow and
-// what beyond that is put down to chance, as two windows overlap. It is 1 at other times, and where so many
-// instances share the traffic that none knows how much that is.
-func (b *Balancer) waveShare(budget float64) float64 {
-	processes := float64(max(b.settings.Instances, 1) * b.settings.Processes)
-	isAfterReset := b.now-b.fleet.lastResetAt < waveWindows*b.fleet.recentPlacements.timeConstant
-	if !isAfterReset || b.settings.Instances > fleetSpareAttempts {
+// budget is for. Just after a server has dropped its connections it is the part that the settings' time is of
+// spareTime: the floor that all instances have, of one attempt and more at each, is for that long.
+func (b *Balancer) waveShare() float64 {
+	window := b.fleet.recentPlacements.timeConstant
+	if b.now-b.fleet.lastResetAt >= waveWindows*window {
 		return 1
 	}
-	allowed := budget / slowStartBudgetFraction * processes
-	return (allowed + chanceFactor*math.Sqrt(allowed) + chanceAttempts) / 2 / processes
+	return window.Seconds() / spareTime.Seconds()
 }
 
 // hasTurn reports whether this instance is one of those that may send to a cold server in the present window
