--- a/cmd/coralrelay/restartclients_test.go
+++ b/cmd/coralrelay/restartclients_test.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"testing"
 	"time"
-
 )
 
 const (
