One lingering close for clients and operators; a check of turns that stood twice

Server.lingeringClose repeated the end of bufconn.LingeringClose: both call Conn.Linger now. In hasCapacity the test for a share of 1 stood beside hasTurn, which holds it.

--- a/balance/slowstart.go
+++ b/balance/slowstart.go
@@ -45,7 +45,7 @@
 	}
 	budget := b.slowStartBudget(s, capacity)
 	limit := budget - 1
-	if share := b.waveShare(); share >= 1 || !isOfWave(r) || b.hasTurn(s, share) {
+	if !isOfWave(r) || b.hasTurn(s, b.waveShare()) {
 		limit = max(limit, b.spareAttempts())
 	}
 	return s.recentAttempts.value(b.now) <= limit
--- a/internal/bufconn/conn.go
+++ b/internal/bufconn/conn.go
@@ -182,10 +182,16 @@
 	err := c.WriteLine(line, deadline)
 	c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(linger))
+	c.Linger()
+	return err
+}
+
+// Linger discards what the other side still sends until the read deadline, and what has arrived by then, since
+// unread input would reset the connection. Then it closes the connection and releases the buffers.
+func (c *Conn) Linger() {
 	c.DiscardInput()
 	_ = DiscardArrived(c.Conn)
 	c.Release()
-	return err
 }
 
 // DiscardInput reads and discards input until the other side ends or the read deadline has
--- a/internal/downstream/firstline.go
+++ b/internal/downstream/firstline.go
@@ -161,9 +161,7 @@
 	err := conn.WriteLine(answer, time.Now().Add(answerWriteTimeout))
 	conn.CloseWrite()
 	s.startLinger(client)
-	conn.DiscardInput()
-	_ = bufconn.DiscardArrived(client.conn) // it may have been cut short, and unread input would reset the connection
-	conn.Release()
+	conn.Linger()
 	return err
 }
 
