--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Arrival is a first line or a datagram that a feed server got.
+type Arrival struct {
+	At   time.Time
+	Text string
+}
+
+// Server is a stand-in of a feed server. At the port of its listener it echoes datagrams, too.
+type Server struct {
+	ID, Addr string
+
+	c        *Case
+	mu       sync.Mutex
+	draining bool
+	open     int
+	lines    []Arrival
+	packets  []Arrival
+}
+
+// NewServer starts a feed server.
+func NewServer(c *Case, id string) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{ID: id, Addr: listener.Addr().String(), c: c}
+	packets, err := net.ListenPacket("udp", s.Addr)
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	c.Defer(func() { _ = listener.Close() })
+	c.Defer(func() { _ = packets.Close() })
+	go s.echo(packets)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s, nil
+}
+
+// Drain makes the server turn new connections away. Those that are open go on.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// FirstLines returns the first lines that the server got.
+func (s *Server) FirstLines() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.lines...)
+}
+
+// Datagrams returns the datagrams that the server got.
+func (s *Server) Datagrams() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.packets...)
+}
+
+func (s *Server) echo(packets net.PacketConn) {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := packets.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.packets = append(s.packets, Arrival{time.Now(), string(buffer[:n])})
+		s.mu.Unlock()
+		s.c.Log(s.ID, "datagram %s", buffer[:n])
+		_, _ = packets.WriteTo(buffer[:n], from)
+	}
+}
+
+// serve serves a connection: probes, or one client.
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		switch {
+		case line == "PING":
+			_, err = fmt.Fprint(conn, "PONG\r\n")
+		case line == "STATS":
+			_, err = fmt.Fprint(conn, s.report())
+		case strings.HasPrefix(line, "OPEN "):
+			s.serveClient(conn, reader, line)
+			return
+		default:
+			_, _ = fmt.Fprint(conn, "SYNTAX\r\n")
+			s.c.Log(s.ID, "a first line that no client sent: %q", line)
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) report() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("PONG inflight=%d,x0=%.3f,latency_ms=2\r\n", s.open, 0.2+0.005*float64(s.open))
+}
+
+// serveClient answers a first line and then each line of the client.
+func (s *Server) serveClient(conn net.Conn, reader *bufio.Reader, line string) {
+	s.mu.Lock()
+	s.lines = append(s.lines, Arrival{time.Now(), line})
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		s.c.Log(s.ID, "got %q, answered BUSY", line)
+		_, _ = fmt.Fprint(conn, "BUSY\r\n")
+		return
+	}
+	id := strings.Fields(line)[1]
+	s.c.Log(s.ID, "got %q, answered UP", line)
+	s.addOpen(1)
+	defer s.addOpen(-1)
+	if _, err := fmt.Fprintf(conn, "UP %s.%s\r\n", s.ID, id); err != nil {
+		return
+	}
+	for {
+		text, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if _, err := fmt.Fprintf(conn, "OK %s", text); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) addOpen(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += change
+}
