Review: a case for an answer of discovery that never ends

Cause: discovery's status line and header are read by net/textproto without a bound. The case gives one such answer at 100 MB/s after a reset watch.

--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -46,6 +46,7 @@
 	listener net.Listener
 	watches  map[net.Conn]bool
 	crowded  bool
+	spoilt   bool // the next answer is spoilt
 	told     map[string]time.Time
 }
 
@@ -87,7 +88,7 @@
 	d.mu.Lock()
 	_ = d.listener.Close()
 	d.mu.Unlock()
-	d.resetWatches()
+	d.ResetWatches()
 	d.c.Log("discovery", "is down")
 }
 
@@ -99,13 +100,15 @@
 	d.mu.Unlock()
 	d.c.Log("discovery", "crowded: %v", crowded)
 	if crowded {
-		d.resetWatches()
+		d.ResetWatches()
 	}
 }
 
-func (d *Discovery) resetWatches() {
+// ResetWatches resets all open watches.
+func (d *Discovery) ResetWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.c.Log("discovery", "resets %d watches", len(d.watches))
 	for conn := range d.watches {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
@@ -165,6 +168,10 @@
 	from, _ := strconv.Atoi(request.FormValue("from"))
 	_, _, crowded := d.since(from)
 	d.c.Log("discovery", "call %s, crowded: %v", request.URL, crowded)
+	if d.takeSpoilt() {
+		d.answerWithoutEnd(conn)
+		return
+	}
 	if crowded {
 		_, _ = fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 		return
--- /dev/null
+++ b/review/standin/endless.go
@@ -0,0 +1,45 @@
+package standin
+
+import (
+	"bytes"
+	"net"
+	"time"
+)
+
+// An answer without an end is written no faster than a link of 1 Gbit/s carries it, and breaks off at the
+// latest after endlessBytes, so that the case stays within its machine.
+const (
+	endlessRate  = 100 << 20 // bytes a second
+	endlessBytes = 600 << 20
+)
+
+// SpoilNextAnswer makes the next answer one that never ends. The answers after it are sound.
+func (d *Discovery) SpoilNextAnswer() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.spoilt = true
+}
+
+func (d *Discovery) takeSpoilt() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	spoilt := d.spoilt
+	d.spoilt = false
+	return spoilt
+}
+
+// answerWithoutEnd writes a spoilt answer until the node closes the connection.
+func (d *Discovery) answerWithoutEnd(conn net.Conn) {
+	block := append([]byte("HTTP/1.1 200 OK "), bytes.Repeat([]byte("spoilt "), 1<<17)...)
+	begun, sent := time.Now(), 0
+	for sent < endlessBytes {
+		n, err := conn.Write(block)
+		sent += n
+		if err != nil {
+			break
+		}
+		due := time.Duration(float64(sent) / endlessRate * float64(time.Second))
+		time.Sleep(due - time.Since(begun))
+	}
+	d.c.Log("discovery", "the answer without an end had %d MB in %.2f s", sent>>20, time.Since(begun).Seconds())
+}
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -153,6 +153,26 @@
 	return time.Time{}, fmt.Errorf("%s did not say yes within %v: %s", n.Name, longest, raw)
 }
 
+// Alive reports whether the node's process has not ended.
+func (n *Node) Alive() bool {
+	select {
+	case <-n.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// ResidentMB returns the node's resident memory in MiB, or 0 if it can't be read.
+func (n *Node) ResidentMB() float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.cmd.Process.Pid))
+	var size, resident int // pages
+	if _, scanErr := fmt.Sscan(string(raw), &size, &resident); err != nil || scanErr != nil {
+		return 0
+	}
+	return float64(resident) * float64(os.Getpagesize()) / (1 << 20)
+}
+
 // Signal sends a signal to the node.
 func (n *Node) Signal(signal syscall.Signal) {
 	n.c.Log(n.Name, "is sent %v", signal)
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -91,7 +91,7 @@
 func (c *Case) LogAt(at time.Time, kind, format string, args ...any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fmt.Fprintf(c.file, "%8.3f %-10s %s\n", at.Sub(c.start).Seconds(), kind, fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(c.file, "%8.3f %-10s %s\n", at.Sub(c.start).Seconds(), kind, fmt.Sprintf(format, args...))
 }
 
 // Broken records that the rule was broken.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -54,6 +54,19 @@
 	return s, nil
 }
 
+// NewServers starts feed servers and lists them at discovery.
+func NewServers(c *Case, discovery *Discovery, count int) (servers []*Server, err error) {
+	for i := range count {
+		server, err := NewServer(c, fmt.Sprintf("s%d", i+1))
+		if err != nil {
+			return nil, err
+		}
+		discovery.Set(server.ID, server.Addr, "active")
+		servers = append(servers, server)
+	}
+	return servers, nil
+}
+
 // Drain makes the server turn new connections away. Those that are open go on.
 func (s *Server) Drain() {
 	s.mu.Lock()
