--- a/review/3/main.go
+++ b/review/3/main.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	old, err := standin.StartNode(c, "old", config, socket, "")
+	old, err := standin.StartNode(c, "old", config, socket)
 	if err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 	if c.Trouble {
 		discovery.Down()
 	}
-	next, err := standin.StartNode(c, "new", config, socket, "")
+	next, err := standin.StartNode(c, "new", config, socket)
 	if err != nil {
 		return yes, err
 	}
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -45,7 +45,6 @@
 	changed  chan struct{} // closed at the next change
 	listener net.Listener
 	watches  map[net.Conn]bool
-	crowded  bool
 	spoilt   bool // the next answer is spoilt
 	stuck    bool // the next change on a watch never ends
 	told     map[string]time.Time
@@ -93,18 +92,6 @@
 	d.c.Log("discovery", "is down")
 }
 
-// SetCrowded makes discovery answer calls with 503, as it does where calls waited too long, until it
-// is called again. Watches that are open are reset.
-func (d *Discovery) SetCrowded(crowded bool) {
-	d.mu.Lock()
-	d.crowded = crowded
-	d.mu.Unlock()
-	d.c.Log("discovery", "crowded: %v", crowded)
-	if crowded {
-		d.ResetWatches()
-	}
-}
-
 // ResetWatches resets all open watches.
 func (d *Discovery) ResetWatches() {
 	d.mu.Lock()
@@ -142,7 +129,7 @@
 
 // Whole returns the whole list.
 func (d *Discovery) Whole() List {
-	list, _, _ := d.since(0)
+	list, _ := d.since(0)
 	return list
 }
 
@@ -154,9 +141,8 @@
 	return at, ok
 }
 
-// since returns what has changed since a generation, a channel that is closed at the next change, and
-// whether calls are answered with 503.
-func (d *Discovery) since(from int) (list List, changed <-chan struct{}, crowded bool) {
+// since returns what has changed since a generation, and a channel that is closed at the next change.
+func (d *Discovery) since(from int) (list List, changed <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list = List{Generation: int64(len(d.changes)), Instances: []Entry{}}
@@ -168,7 +154,7 @@
 	} else {
 		list.Instances = append(list.Instances, d.changes[from:]...)
 	}
-	return list, d.changed, d.crowded
+	return list, d.changed
 }
 
 // serve answers one call.
@@ -179,24 +165,16 @@
 		return
 	}
 	from, _ := strconv.Atoi(request.FormValue("from"))
-	_, _, crowded := d.since(from)
-	d.c.Log("discovery", "call %s, crowded: %v", request.URL, crowded)
+	d.c.Log("discovery", "call %s", request.URL)
 	if d.takeSpoilt() {
 		d.answerWithoutEnd(conn)
 		return
 	}
-	if crowded {
-		_, _ = fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		return
-	}
 	d.setWatch(conn, true)
 	defer d.setWatch(conn, false)
 	_, err = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for first := true; err == nil; first = false {
-		list, changed, crowded := d.since(from)
-		if crowded {
-			return
-		}
+		list, changed := d.since(from)
 		if first || int(list.Generation) != from {
 			if !first && d.takeStuck() {
 				d.writeWithoutEnd(conn, list)
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -62,9 +62,8 @@
 }
 
 // StartNode starts a node as the platform does: by the line run of the deploy file, with /bin/sh. The
-// listening socket of clients is passed on as descriptor 4, if there is one. Arguments are added to the
-// line.
-func StartNode(c *Case, name, configFile string, listening *os.File, arguments string) (*Node, error) {
+// listening socket of clients is passed on as descriptor 4, if there is one.
+func StartNode(c *Case, name, configFile string, listening *os.File) (*Node, error) {
 	run, err := deployRun()
 	if err != nil {
 		return nil, err
@@ -81,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command("/bin/sh", "-c", run+arguments)
+	cmd := exec.Command("/bin/sh", "-c", run)
 	cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+configFile, "BALANCER_MGMT="+mgmt, "TMPDIR="+temporary)
 	cmd.Stderr = log
 	if listening != nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -9,13 +9,13 @@
 	"time"
 )
 
-// Arrival is a first line or a datagram that a feed server got.
+// Arrival is a first line that a feed server got.
 type Arrival struct {
 	At   time.Time
 	Text string
 }
 
-// Server is a stand-in of a feed server. At the port of its listener it echoes datagrams, too.
+// Server is a stand-in of a feed server.
 type Server struct {
 	ID, Addr string
 
@@ -24,7 +24,6 @@
 	draining bool
 	open     int
 	lines    []Arrival
-	packets  []Arrival
 }
 
 // NewServer starts a feed server.
@@ -34,14 +33,7 @@
 		return nil, err
 	}
 	s := &Server{ID: id, Addr: listener.Addr().String(), c: c}
-	packets, err := net.ListenPacket("udp", s.Addr)
-	if err != nil {
-		_ = listener.Close()
-		return nil, err
-	}
 	c.Defer(func() { _ = listener.Close() })
-	c.Defer(func() { _ = packets.Close() })
-	go s.echo(packets)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -81,28 +73,6 @@
 	return append([]Arrival(nil), s.lines...)
 }
 
-// Datagrams returns the datagrams that the server got.
-func (s *Server) Datagrams() []Arrival {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Arrival(nil), s.packets...)
-}
-
-func (s *Server) echo(packets net.PacketConn) {
-	buffer := make([]byte, 2048)
-	for {
-		n, from, err := packets.ReadFrom(buffer)
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.packets = append(s.packets, Arrival{time.Now(), string(buffer[:n])})
-		s.mu.Unlock()
-		s.c.Log(s.ID, "datagram %s", buffer[:n])
-		_, _ = packets.WriteTo(buffer[:n], from)
-	}
-}
-
 // serve serves a connection: probes, or one client.
 func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
