Discovery: a response's status line and header are limited to 16 KiB

Cause: sendRequest read the status line and the header with textproto, which reads on until there is a line's end. The deadline of the header (7 s) limits the time, and nothing limited the size.

Change: limitedConn counts the bytes of the head and returns a typed error (inputlimit.Error: which limit, which peer, how much, how much is allowed), which is counted (INFO: input_limits.discovery_head) and logged with the end of the call. The limit stands beneath the buffer, so that net/http's ReadResponse replaces our reading of the status line and the header. The limit on a message has the same error now.

TestEndlessResponsesAreLimited drives the Watcher with an endless response.

--- a/cmd/coralrelay/admin.go
+++ b/cmd/coralrelay/admin.go
@@ -13,6 +13,7 @@
 	"coralrelay/internal/discovery"
 	"coralrelay/internal/dispatch"
 	"coralrelay/internal/downstream"
+	"coralrelay/internal/inputlimit"
 	"coralrelay/internal/listlease"
 	"coralrelay/internal/metrics"
 	"coralrelay/internal/upstream"
@@ -50,6 +51,7 @@
 		AvoidedEndpoints: n.eventLoop.AvoidedCount(),
 		List:             n.listMetrics(time.Now()),
 		Rejections:       n.rejections(),
+		ExceededLimits:   exceededLimits(),
 	})
 }
 
@@ -71,6 +73,14 @@
 	return counts
 }
 
+// exceededLimits returns how often the input of peers has exceeded each limit.
+func exceededLimits() (counts []metrics.Count) {
+	for limit := range inputlimit.Count {
+		counts = append(counts, metrics.Count{Name: limit.String(), Value: inputlimit.ExceededCount(limit)})
+	}
+	return counts
+}
+
 // LameDuck implements admin.Node.
 func (n adminNode) LameDuck() {
 	now := time.Now()
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -114,7 +114,6 @@
 var (
 	errOverdue         = errors.New("overdue: no response header, or an incomplete list")
 	errOutdatedChanges = errors.New("changes have an older generation than the current list")
-	errMessageTooLarge = fmt.Errorf("message exceeds %d bytes", maxMessageBytes)
 )
 
 func dial(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
@@ -160,23 +159,24 @@
 		return newDialError(err)
 	}
 	c.reportProgress(ctx, progressConnected)
-	monitored := &heartbeatConn{Conn: conn}
-	buffered := bufconn.New(monitored)
+	limited := &limitedConn{Conn: conn, peer: c.addr}
+	buffered := bufconn.New(limited)
 	defer buffered.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	body, date, err := c.sendRequest(buffered, c.startedAt.Add(c.headerTimeout))
+	response, err := c.sendRequest(buffered, c.startedAt.Add(c.headerTimeout))
 	if err != nil {
 		return newHeaderError(err)
 	}
-	monitored.headerReceived = true
-	c.send(ctx, event{call: c, at: time.Now(), progress: progressHeader, date: date})
-	return c.readMessages(ctx, body)
+	limited.headReceived = true
+	c.send(ctx, event{call: c, at: time.Now(), progress: progressHeader, date: responseDate(response)})
+	return c.readMessages(ctx, responseBody(response, buffered))
 }
 
 // readMessages sends the messages and heartbeats of the response body until the body ends.
 func (c *call) readMessages(ctx context.Context, body io.Reader) error {
 	reader := &messageReader{
+		peer:        c.addr,
 		body:        body,
 		onFirstByte: func() { c.reportProgress(ctx, progressFirstByte) },
 		onHeartbeat: func() { c.reportProgress(ctx, progressHeartbeat) },
--- a/internal/discovery/callerror.go
+++ b/internal/discovery/callerror.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"coralrelay/balance"
+	"coralrelay/internal/inputlimit"
 	"coralrelay/internal/listlease"
 )
 
@@ -63,10 +64,12 @@
 
 // newHeaderError returns the error of a call that has received no usable response header.
 func newHeaderError(err error) error {
-	statusErr := (*statusError)(nil)
+	statusErr, limitErr := (*statusError)(nil), (*inputlimit.Error)(nil)
 	switch {
 	case errors.As(err, &statusErr):
 		return &callError{listlease.Unavailable, err}
+	case errors.As(err, &limitErr):
+		return &callError{listlease.Unusable, err}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &callError{listlease.Unanswered, err}
 	}
@@ -75,10 +78,10 @@
 
 // newMessageError returns the error of a call that has received a response header.
 func newMessageError(err error) error {
-	syntaxErr, typeErr, messageErr := (*json.SyntaxError)(nil), (*json.UnmarshalTypeError)(nil),
-		(*messageError)(nil)
+	syntaxErr, typeErr := (*json.SyntaxError)(nil), (*json.UnmarshalTypeError)(nil)
+	messageErr, limitErr := (*messageError)(nil), (*inputlimit.Error)(nil)
 	if errors.As(err, &syntaxErr) || errors.As(err, &typeErr) || errors.As(err, &messageErr) ||
-		errors.Is(err, errMessageTooLarge) {
+		errors.As(err, &limitErr) {
 		return &callError{listlease.Unusable, err}
 	}
 	return &callError{listlease.Incomplete, err}
--- /dev/null
+++ b/internal/discovery/endless_test.go
@@ -0,0 +1,161 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net"
+	"runtime/metrics"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coralrelay/balance"
+	"coralrelay/internal/inputlimit"
+)
+
+const (
+	// endlessBytes is where an endless response breaks off if nothing limits its reader.
+	endlessBytes = 64 << 20
+	// maxHeldBytes is what a response may take at most of the heap, garbage included.
+	maxHeldBytes = 8 << 20
+	// libraryLimit marks a limit of net/http, whose error is not an *inputlimit.Error.
+	libraryLimit = inputlimit.Limit(-1)
+)
+
+// endlessConn is a connection on which a response without an end arrives, as fast as it is read.
+type endlessConn struct {
+	net.Conn // a pipe that provides the other methods
+	first    string
+	next     func(count int) string // the count-th block after first
+	blocks   int
+	unread   string
+	read     atomic.Int64
+	heldMost atomic.Int64
+}
+
+func (c *endlessConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *endlessConn) SetDeadline(time.Time) error      { return nil }
+func (c *endlessConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *endlessConn) SetWriteDeadline(time.Time) error { return nil }
+
+// Read reads a part of the response, and records how much of the heap is in use.
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.unread == "" {
+		c.unread, c.first = c.first, ""
+	}
+	if c.unread == "" {
+		c.blocks++
+		c.unread = c.next(c.blocks)
+	}
+	if c.read.Load() > endlessBytes {
+		return 0, io.EOF
+	}
+	n := copy(p, c.unread)
+	c.unread = c.unread[n:]
+	c.read.Add(int64(n))
+	c.heldMost.Store(max(c.heldMost.Load(), heapBytes()))
+	return n, nil
+}
+
+// heapBytes returns the size of all objects on the heap, garbage included.
+func heapBytes() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
+
+// repeated returns blocks that are all the same, of some kilobytes each.
+func repeated(text string) func(int) string {
+	block := strings.Repeat(text, 1+(8<<10)/len(text))
+	return func(int) string { return block }
+}
+
+// endlessResponse is a response without an end, and the limit that a call has to end with.
+type endlessResponse struct {
+	name  string
+	first string
+	next  func(count int) string
+	limit inputlimit.Limit
+	most  int64 // bytes that the call may read
+}
+
+const (
+	soundMsg = `{"generation":43,"reset":true,"instances":[` + readyInstance + "]}\n"
+	// headMost and chunkMost are the most that may be read of a head, and with it of a chunk's line.
+	headMost  = maxHeadBytes
+	chunkMost = headMost + 2*4096
+)
+
+var endlessResponses = []endlessResponse{
+	{"status line", "HTTP/1.1 200 OK ", repeated("spoilt "), inputlimit.DiscoveryHead, headMost},
+	{"status line of an error", "HTTP/1.1 500 ", repeated("spoilt "), inputlimit.DiscoveryHead, headMost},
+	{"header line", "HTTP/1.1 200 OK\r\nX-Long: ", repeated("spoilt "), inputlimit.DiscoveryHead, headMost},
+	{"header lines", "HTTP/1.1 200 OK\r\n", repeated("X-Short: a\r\n"), inputlimit.DiscoveryHead, headMost},
+	{"chunk size", responseHead, repeated("0"), libraryLimit, chunkMost},
+	{"chunk extension", responseHead + "5;", repeated("x"), libraryLimit, chunkMost},
+	{"chunk extensions", responseHead, repeated("1;" + strings.Repeat("x", 100) + "\r\n \r\n"), libraryLimit,
+		headMost + 2*4096 + 16<<10},
+	{"trailers", responseHead + chunked(soundMsg, "") + "0\r\n", repeated("X-Short: a\r\n"), libraryLimit, chunkMost},
+}
+
+// Guards against a node that is killed for its memory because the head of a response of discovery does not
+// end: review case 1. Whatever part has no end, the call ends after a limited number of
+// bytes, holds little memory, and is reported, so that the node can make the next call.
+func TestEndlessResponsesAreLimited(t *testing.T) {
+	for _, tt := range endlessResponses {
+		t.Run(tt.name, func(t *testing.T) {
+			pipe, far := net.Pipe()
+			defer far.Close()
+			conn := &endlessConn{Conn: pipe, first: tt.first, next: tt.next}
+			countBefore := limitCount(tt.limit)
+			heldBefore := heapBytes()
+			readEndless(t, conn)
+			if read := conn.read.Load(); read > tt.most {
+				t.Errorf("read %d bytes, want at most %d", read, tt.most)
+			}
+			if held := conn.heldMost.Load() - heldBefore; held > maxHeldBytes {
+				t.Errorf("held %d bytes, want at most %d", held, maxHeldBytes)
+			}
+			if count := limitCount(tt.limit); tt.limit != libraryLimit && count != countBefore+1 {
+				t.Errorf("limit %v was exceeded %d times, want once", tt.limit, count-countBefore)
+			}
+		})
+	}
+}
+
+// readEndless makes a call that is answered on the connection, and returns when the call has failed.
+func readEndless(t *testing.T, conn net.Conn) {
+	t.Helper()
+	sink := make(droppingSink, 1)
+	watcher := New("discovery:1", sink)
+	watcher.Dial = func(context.Context, string, time.Time) (net.Conn, error) { return conn, nil }
+	defer runWatcher(t.Context(), watcher)()
+	watcher.Subscribe()
+	select {
+	case <-sink:
+	case <-time.After(testTimeout):
+		t.Error("the call goes on")
+	}
+}
+
+// droppingSink is a Sink that only notes failures.
+type droppingSink chan Update
+
+func (s droppingSink) UpdateEndpoints(update Update) {
+	if update.Kind != balance.ListFailed {
+		return
+	}
+	select {
+	case s <- update:
+	default:
+	}
+}
+
+// limitCount returns how often a limit was exceeded.
+func limitCount(limit inputlimit.Limit) int64 {
+	if limit == libraryLimit {
+		return 0
+	}
+	return inputlimit.ExceededCount(limit)
+}
--- a/internal/discovery/request.go
+++ b/internal/discovery/request.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"strings"
+	"slices"
 	"time"
 
 	"coralrelay/internal/bufconn"
@@ -18,34 +18,46 @@
 	return fmt.Sprintf("unexpected response status %.60q", e.status)
 }
 
-// sendRequest sends the request and reads the response header before the deadline. It returns the
-// response body and the Date of the header, which is zero if there is none.
-func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (body io.Reader, date time.Time, err error) {
+// headError is the error of a response whose head could not be read.
+type headError struct{ err error }
+
+func (e *headError) Error() string { return fmt.Sprintf("response header: %.200s", e.err.Error()) }
+func (e *headError) Unwrap() error { return e.err }
+
+// sendRequest sends the request and reads the head of the response before the deadline.
+func (c *call) sendRequest(conn *bufconn.Conn, deadline time.Time) (*http.Response, error) {
 	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, date, err
+		return nil, err
 	}
-	err = conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
+	err := conn.PrintfLine("GET /v1/endpoints?watch=1&from=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n",
 		c.fromGeneration, c.addr)
 	if err != nil {
-		return nil, date, err
+		return nil, err
 	}
-	status, err := conn.ReadLine()
-	if err != nil {
-		return nil, date, err
+	response, err := http.ReadResponse(conn.R, nil)
+	switch {
+	case err != nil:
+		return nil, &headError{err}
+	case response.ProtoMajor != 1 || response.StatusCode != http.StatusOK:
+		return nil, &statusError{status: response.Status}
 	}
-	version, code, _ := strings.Cut(status, " ")
-	if !strings.HasPrefix(version, "HTTP/1.") || !strings.HasPrefix(code, "200") {
-		return nil, date, &statusError{status: status}
+	return response, nil
+}
+
+// responseBody returns the body of a response that was read from the connection. It is read byte by byte,
+// for which the Body of a chunked response takes a third longer than a reader of the chunks.
+func responseBody(response *http.Response, conn *bufconn.Conn) io.Reader {
+	if slices.Equal(response.TransferEncoding, []string{"chunked"}) {
+		return httputil.NewChunkedReader(conn.R)
 	}
-	header, err := conn.ReadMIMEHeader()
+	return response.Body
+}
+
+// responseDate returns the Date of a response, or the zero time if it has none.
+func responseDate(response *http.Response) time.Time {
+	date, err := http.ParseTime(response.Header.Get("Date"))
 	if err != nil {
-		return nil, date, fmt.Errorf("response header: %w", err)
-	}
-	if parsed, err := http.ParseTime(header.Get("Date")); err == nil {
-		date = parsed
-	}
-	if strings.EqualFold(header.Get("Transfer-Encoding"), "chunked") {
-		return httputil.NewChunkedReader(conn.R), date, nil
+		return time.Time{}
 	}
-	return conn.R, date, nil
+	return date
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -2,30 +2,16 @@
 
 import (
 	"io"
-	"net"
 	"time"
-)
-
-// heartbeatConn limits each read after the response's header to heartbeatTimeout.
-type heartbeatConn struct {
-	net.Conn
-	headerReceived bool
-}
 
-// Read reads with a deadline of heartbeatTimeout once the response header has been received.
-func (c *heartbeatConn) Read(p []byte) (int, error) {
-	if c.headerReceived {
-		if err := c.SetReadDeadline(time.Now().Add(heartbeatTimeout)); err != nil {
-			return 0, err
-		}
-	}
-	return c.Conn.Read(p)
-}
+	"coralrelay/internal/inputlimit"
+)
 
 // messageReader reads one byte at a time, and limits the size of a message. If it read more bytes
 // at a time, the chunked reader would wait for the rest of a chunk while it already holds a
 // complete list.
 type messageReader struct {
+	peer             string
 	body             io.Reader
 	remaining        int       // bytes that the message may still have
 	inMessage        bool      // the message has begun, so that white space is part of it
@@ -40,7 +26,7 @@
 // Read reads at most one byte.
 func (r *messageReader) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
-		return 0, errMessageTooLarge
+		return 0, inputlimit.Exceeded(inputlimit.DiscoveryMessage, r.peer, maxMessageBytes+1, maxMessageBytes)
 	}
 	n, err := r.body.Read(p[:min(len(p), 1)])
 	r.remaining -= n
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -109,6 +109,7 @@
 	AvoidedEndpoints int // listed endpoints that are excluded from all or most draws
 	List             List
 	Rejections       []Count // rejected requests, by reason
+	ExceededLimits   []Count // input that exceeded a limit, by limit
 }
 
 // List describes the state of the endpoint list.
@@ -153,6 +154,9 @@
 	for _, rejections := range gauges.Rejections {
 		write("rejections."+rejections.Name, rejections.Value, counter)
 	}
+	for _, limits := range gauges.ExceededLimits {
+		write("input_limits."+limits.Name, limits.Value, counter)
+	}
 	return text.String()
 }
 
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -38,12 +38,13 @@
 balancer.accept_queue:7|g
 balancer.accept_wait_ms:40|g
 balancer.rejections.no_server:4|c
+balancer.input_limits.discovery_head:6|c
 `, "\n", "\r\n")
 	gauges := Gauges{
 		OpenSessions: 14, ListedEndpoints: 5, AvoidedEndpoints: 2,
 		AcceptQueue: 7, AcceptWait: 40 * time.Millisecond,
 		List:       List{Age: 1250 * time.Millisecond, Calls: []Count{{"reset", 3}}},
-		Rejections: []Count{{"no_server", 4}},
+		Rejections: []Count{{"no_server", 4}}, ExceededLimits: []Count{{"discovery_head", 6}},
 	}
 	if got := registry.Text(gauges); got != want {
 		t.Errorf("got:\n%s", got)
