Discovery: the sum of what one response may make the node read is limited

What callers saw: an answer whose parts are each sound and within their limit, one after another without a pause, kept the node busy for as long as it went on (14.0 s of processor time in 14 s). It never called again, held up to 184 MB, and clients were answered BUSY or late.

Cause: each message had a limit, their sum had none. The Watcher posted each list and each heartbeat to the event loop's inbox, which holds 1,024 of them and clients' events behind them. Changes cost the pool a pass over all endpoints each. White space between messages stayed in the decoder's buffer and counted as a part of the next message, so that a quiet watch ended after 8 Mi heartbeats.

Change, each limit stated by name in limits.go: - bytes of a response: two of the largest messages at once, then another each 4 s; messages and heartbeats: 8,192 at once, then 4,000 a second. Beyond that the call ends, as heartbeats that are read late would confirm a list that has changed meanwhile; the node asks again. - the largest message is a 16th of the node's memory, 2 to 8 MiB; an indented list of 3,200 endpoints of which six in ten are being replaced fits into the least (a test). - one list update is queued at a time; the next waits until it is handled. - beyond 2 MiB at once reading pauses for 0.5 ms each 16 KiB, since one thread does not poll the network while it decodes. - white space between messages is skipped and is no part of one. golang.org/x/time/rate limits the rates.

--- a/cmd/coralrelay/serve.go
+++ b/cmd/coralrelay/serve.go
@@ -120,6 +120,7 @@
 	n.updater = &endpointUpdater{pool: n.pool, firstListReceived: make(chan struct{})}
 	n.watcher = discovery.New(n.cfg.Discovery, n.updater)
 	clock := dispatch.NewClock()
+	n.watcher.Limits = discovery.LimitsFor(n.cfg.Limits.MemoryMB)
 	n.watcher.Now = clock.Now
 	n.watcher.Dial = n.pool.DialUntil
 	n.pool.ListStatus = n.watcher.Status
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"time"
 
@@ -39,8 +37,6 @@
 	minHeaderTimeout = 7 * time.Second
 	// maxCallServiceTime is the time that the slowest known service spends on one call.
 	maxCallServiceTime = 27 * time.Millisecond
-	// maxMessageBytes is the size of the largest message that is accepted.
-	maxMessageBytes = 8 << 20
 )
 
 // call is one call to the discovery service. A successful call continues as a watch.
@@ -50,6 +46,7 @@
 	fromGeneration int64
 	startedAt      time.Time
 	headerTimeout  time.Duration
+	limits         Limits
 	events         chan<- event
 
 	// The fields below belong to the goroutine of Watcher.Run.
@@ -159,7 +156,7 @@
 		return newDialError(err)
 	}
 	c.reportProgress(ctx, progressConnected)
-	limited := &limitedConn{Conn: conn, peer: c.addr}
+	limited := newLimitedConn(conn, c.addr, c.limits)
 	buffered := bufconn.New(limited)
 	defer buffered.Release()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -168,30 +165,22 @@
 	if err != nil {
 		return newHeaderError(err)
 	}
-	limited.headReceived = true
+	limited.endHead()
 	c.send(ctx, event{call: c, at: time.Now(), progress: progressHeader, date: responseDate(response)})
-	return c.readMessages(ctx, responseBody(response, buffered))
+	return c.readMessages(ctx, newMessageReader(ctx, c, limited, responseBody(response, buffered)))
 }
 
 // readMessages sends the messages and heartbeats of the response body until the body ends.
-func (c *call) readMessages(ctx context.Context, body io.Reader) error {
-	reader := &messageReader{
-		peer:        c.addr,
-		body:        body,
-		onFirstByte: func() { c.reportProgress(ctx, progressFirstByte) },
-		onHeartbeat: func() { c.reportProgress(ctx, progressHeartbeat) },
-	}
-	decoder := json.NewDecoder(reader)
+func (c *call) readMessages(ctx context.Context, reader *messageReader) error {
 	for {
-		var decoded message
-		reader.beginMessage()
-		if err := decoder.Decode(&decoded); err != nil {
+		decoded, startedAt, err := reader.next()
+		if err != nil {
 			return newMessageError(err)
 		}
 		update, err := decoded.update()
 		if err != nil {
 			return newMessageError(err)
 		}
-		c.send(ctx, event{call: c, at: reader.messageStartedAt, progress: progressMessage, update: update})
+		c.send(ctx, event{call: c, at: startedAt, progress: progressMessage, update: update})
 	}
 }
--- a/internal/discovery/endless_test.go
+++ b/internal/discovery/endless_test.go
@@ -14,10 +14,13 @@
 	"coralrelay/internal/inputlimit"
 )
 
+// testLimits are small, so that endless responses reach them soon.
+var testLimits = Limits{MessageBytes: 64 << 10}
+
 const (
 	// endlessBytes is where an endless response breaks off if nothing limits its reader.
 	endlessBytes = 64 << 20
-	// maxHeldBytes is what a response may take at most of the heap, garbage included.
+	// maxHeldBytes is what a response may take at most of the heap with testLimits, garbage included.
 	maxHeldBytes = 8 << 20
 	// libraryLimit marks a limit of net/http, whose error is not an *inputlimit.Error.
 	libraryLimit = inputlimit.Limit(-1)
@@ -81,12 +84,20 @@
 }
 
 const (
+	bodyHead = responseHead + "7fffffff\r\n" // a head and the beginning of a chunk without an end
 	soundMsg = `{"generation":43,"reset":true,"instances":[` + readyInstance + "]}\n"
+	listHead = bodyHead + `{"generation":43,"reset":true,"instances":[`
 	// headMost and chunkMost are the most that may be read of a head, and with it of a chunk's line.
 	headMost  = maxHeadBytes
 	chunkMost = headMost + 2*4096
 )
 
+// messageMost and bodyMost are the most that may be read of a message, and of a body.
+var (
+	messageMost = int64(headMost + testLimits.MessageBytes + 4096)
+	bodyMost    = int64(headMost + testLimits.responseBurst() + 2*4096)
+)
+
 var endlessResponses = []endlessResponse{
 	{"status line", "HTTP/1.1 200 OK ", repeated("spoilt "), inputlimit.DiscoveryHead, headMost},
 	{"status line of an error", "HTTP/1.1 500 ", repeated("spoilt "), inputlimit.DiscoveryHead, headMost},
@@ -97,10 +108,24 @@
 	{"chunk extensions", responseHead, repeated("1;" + strings.Repeat("x", 100) + "\r\n \r\n"), libraryLimit,
 		headMost + 2*4096 + 16<<10},
 	{"trailers", responseHead + chunked(soundMsg, "") + "0\r\n", repeated("X-Short: a\r\n"), libraryLimit, chunkMost},
+	{"string", listHead + `{"instanceId":"`, repeated("spoilt "), inputlimit.DiscoveryMessage, messageMost},
+	{"key", bodyHead + `{"`, repeated("spoilt "), inputlimit.DiscoveryMessage, messageMost},
+	{"list", listHead + readyInstance, repeated("," + readyInstance), inputlimit.DiscoveryMessage, messageMost},
+	{"nested lists", bodyHead + `{"instances":`, repeated("["), libraryLimit, messageMost},
+	{"spaces", bodyHead + soundMsg, repeated(" "), inputlimit.DiscoveryRate, bodyMost},
+	{"heartbeats", bodyHead + soundMsg, repeated("\n"), inputlimit.DiscoveryUpdates, bodyMost},
+	{"heartbeats in chunks", responseHead + chunked(soundMsg, ""), repeated(chunked("\n", "")),
+		inputlimit.DiscoveryUpdates, bodyMost},
+	{"complete lists", bodyHead, repeated(soundMsg), inputlimit.DiscoveryRate, bodyMost},
+	{"empty changes", bodyHead + soundMsg, repeated(`{"generation":43,"instances":[]}` + "\n"),
+		inputlimit.DiscoveryRate, bodyMost},
+	{"small objects", bodyHead + soundMsg, repeated(`{"generation":43}`), inputlimit.DiscoveryRate, bodyMost},
+	{"outdated lists", bodyHead + soundMsg, repeated(strings.Replace(soundMsg, "43", "42", 1)),
+		inputlimit.DiscoveryRate, bodyMost},
 }
 
-// Guards against a node that is killed for its memory because the head of a response of discovery does not
-// end: review case 1. Whatever part has no end, the call ends after a limited number of
+// Guards against a node that is killed for its memory, or that serves nobody, because a response of
+// discovery does not end: review case 1. Whatever part has no end, the call ends after a limited number of
 // bytes, holds little memory, and is reported, so that the node can make the next call.
 func TestEndlessResponsesAreLimited(t *testing.T) {
 	for _, tt := range endlessResponses {
@@ -129,6 +154,7 @@
 	t.Helper()
 	sink := make(droppingSink, 1)
 	watcher := New("discovery:1", sink)
+	watcher.Limits = testLimits
 	watcher.Dial = func(context.Context, string, time.Time) (net.Conn, error) { return conn, nil }
 	defer runWatcher(t.Context(), watcher)()
 	watcher.Subscribe()
--- a/internal/discovery/growth_bench_test.go
+++ b/internal/discovery/growth_bench_test.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	events := make(chan event)
-	benchCall := &call{addr: "discovery", events: events}
+	benchCall := &call{addr: "discovery", limits: defaultLimits, events: events}
 	go benchCall.run(ctx, func(context.Context, string, time.Time) (net.Conn, error) {
 		return watcherSide, nil
 	})
--- /dev/null
+++ b/internal/discovery/limits.go
@@ -0,0 +1,73 @@
+package discovery
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// The limits on a response that do not depend on the node.
+const (
+	// maxHeadBytes is the size of the largest status line and header that are accepted. The first
+	// bytes of the body count as well if they arrive together with the end of the header.
+	maxHeadBytes = 16 << 10
+	// updatesPerSecond limits the messages and heartbeats of a watch, and updateBurst those that
+	// arrive at once. In the largest known fleet 2,000 endpoints are replaced within 7 s, with three
+	// changes each, and each change is followed by the end of its line, which is a heartbeat.
+	updatesPerSecond = 4000
+	updateBurst      = 8192
+)
+
+// The limits on a message, which depend on the node's memory.
+const (
+	// minMessageBytes is enough for an indented list of the largest known fleet, 3,200 endpoints, of
+	// which six in ten are being replaced.
+	minMessageBytes = 2 << 20
+	maxMessageBytes = 8 << 20
+	// messageMemoryDivisor is the share of the node's memory that a message may have. Its buffers and
+	// its entries take about four times the size of the message.
+	messageMemoryDivisor = 16
+)
+
+// The limits on all of a response, relative to the largest message.
+const (
+	// responseBurstMessages is the size of what may arrive at once, in largest messages: one message
+	// with the framing of its chunks.
+	responseBurstMessages = 2
+	// messageRefillTime is the time in which a response may continue with another largest message.
+	messageRefillTime = 4 * time.Second
+)
+
+// A response that goes on for longer than any list is read in parts, with a pause after each in which
+// clients are served: with one thread for all of the node, the network is not polled while it decodes.
+const (
+	unpausedBytes = minMessageBytes
+	readPartBytes = 16 << 10
+	readPause     = 500 * time.Microsecond
+)
+
+// Limits limit what a response of the discovery service may make the node read and store.
+type Limits struct {
+	MessageBytes int // of a message
+}
+
+// defaultLimits are the limits of a node with ample memory.
+var defaultLimits = Limits{MessageBytes: maxMessageBytes}
+
+// LimitsFor returns the limits of a node with the given memory in MiB.
+func LimitsFor(memoryMB int) Limits {
+	messageBytes := min(max(memoryMB<<20/messageMemoryDivisor, minMessageBytes), maxMessageBytes)
+	return Limits{MessageBytes: messageBytes}
+}
+
+// responseBurst returns how many bytes of a response may arrive at once.
+func (l Limits) responseBurst() int { return responseBurstMessages * l.MessageBytes }
+
+// newResponseLimiter returns a limiter of the bytes of a response.
+func (l Limits) newResponseLimiter() *rate.Limiter {
+	bytesPerSecond := float64(l.MessageBytes) / messageRefillTime.Seconds()
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), l.responseBurst())
+}
+
+// newUpdateLimiter returns a limiter of the messages and heartbeats of a response.
+func newUpdateLimiter() *rate.Limiter { return rate.NewLimiter(updatesPerSecond, updateBurst) }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -1,51 +1,107 @@
 package discovery
 
 import (
+	"context"
+	"encoding/json"
 	"io"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"coralrelay/internal/inputlimit"
 )
 
-// messageReader reads one byte at a time, and limits the size of a message. If it read more bytes
-// at a time, the chunked reader would wait for the rest of a chunk while it already holds a
-// complete list.
+// messageReader reads one message after the other from the body of a response. It reads one byte at a
+// time: if it read more, the chunked reader would wait for the rest of a chunk while it already holds
+// a complete list.
 type messageReader struct {
-	peer             string
-	body             io.Reader
-	remaining        int       // bytes that the message may still have
-	inMessage        bool      // the message has begun, so that white space is part of it
-	messageStartedAt time.Time // when the first byte of the message arrived
-	onFirstByte      func()    // called at the first byte of the first message, and then set to nil
-	onHeartbeat      func()    // called at each end of a line between messages
+	ctx       context.Context
+	call      *call
+	conn      *limitedConn
+	body      io.Reader
+	updates   *rate.Limiter // of messages and heartbeats
+	startedAt time.Time     // when the first byte of the current message arrived
+	partSize  int           // bytes that were read of the current part
+	size      int           // bytes of the current message; 0 between two messages
+	isFirst   bool          // no message has begun to arrive yet
 }
 
-// beginMessage must be called before each message is read.
-func (r *messageReader) beginMessage() { r.remaining, r.inMessage = maxMessageBytes, false }
+func newMessageReader(ctx context.Context, c *call, conn *limitedConn, body io.Reader) *messageReader {
+	return &messageReader{
+		ctx:     ctx,
+		call:    c,
+		conn:    conn,
+		body:    body,
+		updates: newUpdateLimiter(),
+		isFirst: true,
+	}
+}
 
-// Read reads at most one byte.
+// next returns the next message, and when its first byte arrived.
+func (r *messageReader) next() (message message, startedAt time.Time, err error) {
+	r.size = 0
+	// A Decoder does not read beyond the end of an object, and keeps a buffer of the size of its
+	// largest message.
+	if err := json.NewDecoder(r).Decode(&message); err != nil {
+		return message, time.Time{}, err
+	}
+	return message, r.startedAt, r.countUpdate()
+}
+
+// Read reads at most one byte. It skips white space between two messages.
 func (r *messageReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, inputlimit.Exceeded(inputlimit.DiscoveryMessage, r.peer, maxMessageBytes+1, maxMessageBytes)
+	for {
+		n, err := r.body.Read(p[:min(len(p), 1)])
+		if n == 0 {
+			return 0, err
+		}
+		r.pause()
+		if r.size > 0 || !isSpace(p[0]) {
+			return n, r.addByte()
+		}
+		if p[0] == '\n' {
+			if err := r.countUpdate(); err != nil {
+				return 0, err
+			}
+			r.call.reportProgress(r.ctx, progressHeartbeat)
+		}
 	}
-	n, err := r.body.Read(p[:min(len(p), 1)])
-	r.remaining -= n
-	if n > 0 && !r.inMessage {
-		r.observeByte(p[0])
+}
+
+// pause pauses after each part of a response that goes on for longer than a list.
+func (r *messageReader) pause() {
+	if r.partSize++; r.partSize < readPartBytes {
+		return
+	}
+	r.partSize = 0
+	if r.conn.recentBytes() > unpausedBytes {
+		time.Sleep(readPause)
 	}
-	return n, err
 }
 
-// observeByte handles a byte between two messages, or the first byte of a message.
-func (r *messageReader) observeByte(char byte) {
-	switch {
-	case char > ' ':
-		r.inMessage, r.messageStartedAt = true, time.Now()
-		if r.onFirstByte != nil {
-			r.onFirstByte()
-			r.onFirstByte = nil
+// addByte counts a byte of a message.
+func (r *messageReader) addByte() error {
+	r.size++
+	if r.size == 1 {
+		r.startedAt = time.Now()
+		if r.isFirst {
+			r.call.reportProgress(r.ctx, progressFirstByte)
+			r.isFirst = false
 		}
-	case char == '\n':
-		r.onHeartbeat()
 	}
+	if limit := r.call.limits.MessageBytes; r.size > limit {
+		return inputlimit.Exceeded(inputlimit.DiscoveryMessage, r.call.addr, int64(r.size), int64(limit))
+	}
+	return nil
 }
+
+// countUpdate counts a message or a heartbeat.
+func (r *messageReader) countUpdate() error {
+	if r.updates.Allow() {
+		return nil
+	}
+	return inputlimit.Exceeded(inputlimit.DiscoveryUpdates, r.call.addr, updateBurst+1, updateBurst)
+}
+
+// isSpace reports whether a byte is white space in JSON.
+func isSpace(char byte) bool { return char == ' ' || char == '\t' || char == '\r' || char == '\n' }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -35,6 +35,9 @@
 	// set before Run.
 	OnLease func(status listlease.Status)
 
+	// Limits limit what a response may make the node read and store. They must be set before Run.
+	Limits Limits
+
 	sink           Sink
 	pollRequested  chan struct{} // holds a value if a poll is requested
 	addressChanged chan struct{} // holds a value if addr has changed since takeAddress
@@ -68,6 +71,7 @@
 	return &Watcher{
 		Dial:           dial,
 		Now:            time.Now,
+		Limits:         defaultLimits,
 		startTimes:     startTimeConverter{known: map[string]time.Duration{}},
 		sink:           sink,
 		pollRequested:  make(chan struct{}, 1),
@@ -196,6 +200,7 @@
 		fromGeneration: w.lastGeneration,
 		startedAt:      time.Now(),
 		headerTimeout:  headerTimeout(int(w.instances.Load())),
+		limits:         w.Limits,
 		events:         w.events,
 		reason:         w.nextReason,
 	}
--- a/internal/dispatch/eventloop.go
+++ b/internal/dispatch/eventloop.go
@@ -35,6 +35,7 @@
 	prober         Prober
 	discovery      Discovery
 	inbox          chan func()
+	listUpdate     chan struct{} // holds a value while an update of the list or its lease is queued
 	done           chan struct{} // closed when Run ends
 	rejectedLog    logging.Throttled
 	avoidedServers atomic.Int64 // refreshed every avoidedRefreshInterval
@@ -62,6 +63,7 @@
 		prober:       prober,
 		discovery:    discovery,
 		inbox:        make(chan func(), inboxCapacity),
+		listUpdate:   make(chan struct{}, 1),
 		done:         make(chan struct{}),
 		knownClasses: classNames(settings.Classes),
 		placements:   map[string]*activePlacement{},
--- a/internal/inputlimit/inputlimit.go
+++ b/internal/inputlimit/inputlimit.go
@@ -15,13 +15,15 @@
 // The limits, grouped by peer.
 const (
 	DiscoveryHead    Limit = iota // bytes of the status line and the header of a response
+	DiscoveryRate                 // bytes of a response, over time
+	DiscoveryUpdates              // messages and heartbeats on a watch, over time
 	DiscoveryMessage              // bytes of a message
 
 	Count // number of limits
 )
 
 var names = [Count]string{
-	"discovery_head", "discovery_message",
+	"discovery_head", "discovery_rate", "discovery_updates", "discovery_message",
 }
 
 // String returns the name of the limit in metrics and log lines.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -104,8 +104,15 @@
 			p.remove(endpoint)
 		}
 	}
+	if full {
+		p.removeUnlisted(listed, now)
+	}
+}
+
+// removeUnlisted removes the endpoints that a complete list does not name. p.mu must be held.
+func (p *Pool) removeUnlisted(listed map[string]bool, now time.Time) {
 	for id, endpoint := range p.endpoints {
-		if full && !listed[id] {
+		if !listed[id] {
 			endpoint.update("", true, now)
 			p.remove(endpoint)
 		}
