Discovery: a message is limited in its entries and in time, the list in its size

What was seen: messages within the limit of 8 MiB, of small or malformed entries, took a node to 97 MB and to 14.0 s of processor time in 14 s, with a log line for each malformed entry; changes that each name a new endpoint made the list grow without an end; a change that has begun and gets a byte now and then was read for ever, and no call followed.

Cause: the size of a message was limited, not what it costs. Each entry was kept as a slice, each malformed one was formatted and logged, and neither the list nor its IDs had a limit. Only silence ended a message.

Change: entries of a message, and endpoints of the list: one for each 256 bytes of the largest message; entries over time like the bytes; a message has to be complete 6 s after its first byte, when it has counted as notified; ID, address and zone of up to 256 bytes. Malformed entries are one line for each kind and call, with the first error and the count; "endpoint list went back" is one line a call. A call that exceeds a limit is spoilt: the next one asks for all.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,7 +140,7 @@
 		return c, err
 	}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
-		if c.CachedEndpoints, err = discovery.Decode(f.Known); err != nil {
+		if c.CachedEndpoints, err = discovery.Decode(f.Known, "known"); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -49,6 +49,8 @@
 	limits         Limits
 	events         chan<- event
 
+	malformedLogged bool // malformed entries were logged; belongs to the goroutine of run
+
 	// The fields below belong to the goroutine of Watcher.Run.
 	cancel           context.CancelFunc
 	reason           callReason
@@ -57,6 +59,7 @@
 	listDeadline     time.Time        // for the first list; zero unless reason.hasListDeadline
 	overdue          <-chan time.Time // fires when the call becomes overdue; nil for never
 	failureReported  bool             // the call was reported as overdue or failed
+	outdatedReported bool             // a list that is older than the current one was logged
 	watching         bool             // a list, or a heartbeat that confirms the current one, has arrived
 }
 
@@ -181,6 +184,10 @@
 		if err != nil {
 			return newMessageError(err)
 		}
+		if list := &decoded.Instances; !c.malformedLogged {
+			list.logMalformed()
+			c.malformedLogged = list.unused.count+list.skipped.count > 0
+		}
 		c.send(ctx, event{call: c, at: startedAt, progress: progressMessage, update: update})
 	}
 }
--- a/internal/discovery/endless_test.go
+++ b/internal/discovery/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"runtime/metrics"
@@ -15,7 +16,7 @@
 )
 
 // testLimits are small, so that endless responses reach them soon.
-var testLimits = Limits{MessageBytes: 64 << 10}
+var testLimits = Limits{MessageBytes: 64 << 10, Endpoints: 256}
 
 const (
 	// endlessBytes is where an endless response breaks off if nothing limits its reader.
@@ -112,16 +113,23 @@
 	{"key", bodyHead + `{"`, repeated("spoilt "), inputlimit.DiscoveryMessage, messageMost},
 	{"list", listHead + readyInstance, repeated("," + readyInstance), inputlimit.DiscoveryMessage, messageMost},
 	{"nested lists", bodyHead + `{"instances":`, repeated("["), libraryLimit, messageMost},
+	{"small entries", bodyHead, repeated(`{"generation":43,"reset":true,"instances":[1` + strings.Repeat(",1", 1000) +
+		"]}\n"), inputlimit.DiscoveryEntries, messageMost},
 	{"spaces", bodyHead + soundMsg, repeated(" "), inputlimit.DiscoveryRate, bodyMost},
 	{"heartbeats", bodyHead + soundMsg, repeated("\n"), inputlimit.DiscoveryUpdates, bodyMost},
 	{"heartbeats in chunks", responseHead + chunked(soundMsg, ""), repeated(chunked("\n", "")),
 		inputlimit.DiscoveryUpdates, bodyMost},
-	{"complete lists", bodyHead, repeated(soundMsg), inputlimit.DiscoveryRate, bodyMost},
+	{"complete lists", bodyHead, repeated(soundMsg), inputlimit.DiscoveryEntries, bodyMost},
 	{"empty changes", bodyHead + soundMsg, repeated(`{"generation":43,"instances":[]}` + "\n"),
 		inputlimit.DiscoveryRate, bodyMost},
 	{"small objects", bodyHead + soundMsg, repeated(`{"generation":43}`), inputlimit.DiscoveryRate, bodyMost},
 	{"outdated lists", bodyHead + soundMsg, repeated(strings.Replace(soundMsg, "43", "42", 1)),
-		inputlimit.DiscoveryRate, bodyMost},
+		inputlimit.DiscoveryEntries, bodyMost},
+	{"malformed entries", bodyHead + soundMsg, repeated(`{"generation":43,"reset":true,"instances":[` +
+		strings.Repeat("{},", 99) + "{}]}\n"), inputlimit.DiscoveryEntries, bodyMost},
+	{"new endpoints", bodyHead + soundMsg, func(count int) string {
+		return fmt.Sprintf(`{"generation":%d,"instances":[{"instanceId":"n%d","lifecycle":"leaving"}]}`+"\n", 43+count, count)
+	}, inputlimit.DiscoveryEndpoints, bodyMost},
 }
 
 // Guards against a node that is killed for its memory, or that serves nobody, because a response of
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -7,6 +7,7 @@
 
 	"coralrelay/balance"
 	"coralrelay/internal/audit"
+	"coralrelay/internal/inputlimit"
 	"coralrelay/internal/listlease"
 )
 
@@ -73,13 +74,17 @@
 func (w *Watcher) handleMessage(c *call, ev event) {
 	update := ev.update
 	if update.Generation < w.lastGeneration {
-		slog.Warn("endpoint list went back", w.describe(c, "offered_generation", update.Generation,
-			"reset", update.Kind == balance.ListFull)...)
+		w.reportOutdated(c, &update)
 		if update.Kind != balance.ListFull {
 			w.endCall(c, &callError{listlease.Unusable, errOutdatedChanges})
 			return
 		}
 	}
+	if size, limit := w.listed.apply(&update), w.Limits.Endpoints; size > limit {
+		err := inputlimit.Exceeded(inputlimit.DiscoveryEndpoints, c.addr, int64(size), int64(limit))
+		w.endCall(c, &callError{listlease.Unusable, err}) // the next call requests a complete list
+		return
+	}
 	w.startTimes.convert(w.Now(), &update, c.watching)
 	w.promoteToWatch(c)
 	w.lastGeneration = update.Generation
@@ -88,6 +93,17 @@
 	w.confirmList(ev.at)
 }
 
+// reportOutdated logs, once for each call, that the service offers a list that is older than the current
+// one.
+func (w *Watcher) reportOutdated(c *call, update *Update) {
+	if c.outdatedReported {
+		return
+	}
+	c.outdatedReported = true
+	slog.Warn("endpoint list went back", w.describe(c, "offered_generation", update.Generation,
+		"reset", update.Kind == balance.ListFull)...)
+}
+
 // promoteToWatch makes the call the watch that is followed, and cancels the other calls.
 func (w *Watcher) promoteToWatch(c *call) {
 	w.cancelCallsExcept(c)
--- a/internal/discovery/limitedconn.go
+++ b/internal/discovery/limitedconn.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -10,17 +12,18 @@
 )
 
 // limitedConn limits what is read from the connection of a call: the size of the response's head, and
-// then the rate of its bytes and the silence between them. A limit that
+// then the rate of its bytes, the silence between them and the time that a message takes. A limit that
 // is exceeded is reported as an *inputlimit.Error, silence as os.ErrDeadlineExceeded.
 type limitedConn struct {
 	net.Conn
 	peer   string
 	limits Limits
 
-	headReceived bool
-	received     int64         // bytes of the head, then of the body
-	rate         *rate.Limiter // of the bytes of the body
-	exceeded     error         // the *inputlimit.Error that all further reads return
+	headReceived     bool
+	received         int64         // bytes of the head, then of the body
+	rate             *rate.Limiter // of the bytes of the body
+	messageStartedAt time.Time     // zero between two messages
+	exceeded         error         // the *inputlimit.Error that all further reads return
 }
 
 func newLimitedConn(conn net.Conn, peer string, limits Limits) *limitedConn {
@@ -59,13 +62,22 @@
 
 func (c *limitedConn) readBody(p []byte) (int, error) {
 	now := time.Now()
-	if err := c.SetReadDeadline(now.Add(heartbeatTimeout)); err != nil {
+	deadline := now.Add(heartbeatTimeout)
+	if messageDeadline := c.messageStartedAt.Add(messageTimeout); !c.messageStartedAt.IsZero() &&
+		messageDeadline.Before(deadline) {
+		deadline = messageDeadline
+	}
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
-	if n > 0 && !c.rate.AllowN(now, n) {
+	switch {
+	case n > 0 && !c.rate.AllowN(now, n):
 		return 0, c.exceed(inputlimit.DiscoveryRate, c.received, int64(c.limits.responseBurst()))
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.messageTimedOut():
+		return 0, c.exceed(inputlimit.DiscoveryMessageTime,
+			time.Since(c.messageStartedAt).Milliseconds(), messageTimeout.Milliseconds())
 	}
 	return n, err
 }
@@ -74,3 +86,8 @@
 func (c *limitedConn) recentBytes() int {
 	return c.limits.responseBurst() - int(c.rate.Tokens())
 }
+
+// messageTimedOut reports whether the current message has taken too long to arrive.
+func (c *limitedConn) messageTimedOut() bool {
+	return !c.messageStartedAt.IsZero() && time.Since(c.messageStartedAt) >= messageTimeout
+}
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"coralrelay/internal/listlease"
 )
 
 // The limits on a response that do not depend on the node.
@@ -11,6 +13,11 @@
 	// maxHeadBytes is the size of the largest status line and header that are accepted. The first
 	// bytes of the body count as well if they arrive together with the end of the header.
 	maxHeadBytes = 16 << 10
+	// messageTimeout is how long a message may take to arrive. After that time its changes count as
+	// notified, complete or not.
+	messageTimeout = listlease.NotifyDelay
+	// maxFieldBytes is the length of the longest text field of an entry that is accepted.
+	maxFieldBytes = 256
 	// updatesPerSecond limits the messages and heartbeats of a watch, and updateBurst those that
 	// arrive at once. In the largest known fleet 2,000 endpoints are replaced within 7 s, with three
 	// changes each, and each change is followed by the end of its line, which is a heartbeat.
@@ -27,6 +34,9 @@
 	// messageMemoryDivisor is the share of the node's memory that a message may have. Its buffers and
 	// its entries take about four times the size of the message.
 	messageMemoryDivisor = 16
+	// bytesPerEntry is about the size of an entry. A message may have as many entries, and the list as
+	// many endpoints, as fit into the largest message.
+	bytesPerEntry = 256
 )
 
 // The limits on all of a response, relative to the largest message.
@@ -49,15 +59,16 @@
 // Limits limit what a response of the discovery service may make the node read and store.
 type Limits struct {
 	MessageBytes int // of a message
+	Endpoints    int // entries of a message, and endpoints in the list
 }
 
 // defaultLimits are the limits of a node with ample memory.
-var defaultLimits = Limits{MessageBytes: maxMessageBytes}
+var defaultLimits = Limits{MessageBytes: maxMessageBytes, Endpoints: maxMessageBytes / bytesPerEntry}
 
 // LimitsFor returns the limits of a node with the given memory in MiB.
 func LimitsFor(memoryMB int) Limits {
 	messageBytes := min(max(memoryMB<<20/messageMemoryDivisor, minMessageBytes), maxMessageBytes)
-	return Limits{MessageBytes: messageBytes}
+	return Limits{MessageBytes: messageBytes, Endpoints: messageBytes / bytesPerEntry}
 }
 
 // responseBurst returns how many bytes of a response may arrive at once.
@@ -69,5 +80,13 @@
 	return rate.NewLimiter(rate.Limit(bytesPerSecond), l.responseBurst())
 }
 
+// entryBurst returns how many entries may arrive at once.
+func (l Limits) entryBurst() int { return responseBurstMessages * l.Endpoints }
+
+// newEntryLimiter returns a limiter of the entries of all messages.
+func (l Limits) newEntryLimiter() *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(float64(l.Endpoints)/messageRefillTime.Seconds()), l.entryBurst())
+}
+
 // newUpdateLimiter returns a limiter of the messages and heartbeats of a response.
 func newUpdateLimiter() *rate.Limiter { return rate.NewLimiter(updatesPerSecond, updateBurst) }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -15,15 +15,15 @@
 // time: if it read more, the chunked reader would wait for the rest of a chunk while it already holds
 // a complete list.
 type messageReader struct {
-	ctx       context.Context
-	call      *call
-	conn      *limitedConn
-	body      io.Reader
-	updates   *rate.Limiter // of messages and heartbeats
-	startedAt time.Time     // when the first byte of the current message arrived
-	partSize  int           // bytes that were read of the current part
-	size      int           // bytes of the current message; 0 between two messages
-	isFirst   bool          // no message has begun to arrive yet
+	ctx      context.Context
+	call     *call
+	conn     *limitedConn
+	body     io.Reader
+	updates  *rate.Limiter // of messages and heartbeats
+	entries  *rate.Limiter // of the entries of all messages
+	partSize int           // bytes that were read of the current part
+	size     int           // bytes of the current message; 0 between two messages
+	isFirst  bool          // no message has begun to arrive yet
 }
 
 func newMessageReader(ctx context.Context, c *call, conn *limitedConn, body io.Reader) *messageReader {
@@ -33,19 +33,25 @@
 		conn:    conn,
 		body:    body,
 		updates: newUpdateLimiter(),
+		entries: c.limits.newEntryLimiter(),
 		isFirst: true,
 	}
 }
 
 // next returns the next message, and when its first byte arrived.
 func (r *messageReader) next() (message message, startedAt time.Time, err error) {
-	r.size = 0
+	r.size, r.conn.messageStartedAt = 0, time.Time{}
+	message.Instances.max = r.call.limits.Endpoints
+	message.Instances.peer = r.call.addr
 	// A Decoder does not read beyond the end of an object, and keeps a buffer of the size of its
 	// largest message.
 	if err := json.NewDecoder(r).Decode(&message); err != nil {
 		return message, time.Time{}, err
 	}
-	return message, r.startedAt, r.countUpdate()
+	if err := r.countEntries(message.Instances.count); err != nil {
+		return message, time.Time{}, err
+	}
+	return message, r.conn.messageStartedAt, r.countUpdate()
 }
 
 // Read reads at most one byte. It skips white space between two messages.
@@ -83,7 +89,7 @@
 func (r *messageReader) addByte() error {
 	r.size++
 	if r.size == 1 {
-		r.startedAt = time.Now()
+		r.conn.messageStartedAt = time.Now()
 		if r.isFirst {
 			r.call.reportProgress(r.ctx, progressFirstByte)
 			r.isFirst = false
@@ -103,5 +109,14 @@
 	return inputlimit.Exceeded(inputlimit.DiscoveryUpdates, r.call.addr, updateBurst+1, updateBurst)
 }
 
+// countEntries counts the entries of a message.
+func (r *messageReader) countEntries(count int) error {
+	if r.entries.AllowN(time.Now(), count) {
+		return nil
+	}
+	burst := int64(r.call.limits.entryBurst())
+	return inputlimit.Exceeded(inputlimit.DiscoveryEntries, r.call.addr, burst+1, burst)
+}
+
 // isSpace reports whether a byte is white space in JSON.
 func isSpace(char byte) bool { return char == ' ' || char == '\t' || char == '\r' || char == '\n' }
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -103,7 +103,7 @@
 				got, _ := streamUpdates(t, tt.pieces, 0, true)
 				var want []Update
 				for _, text := range []string{fullList, removal} {
-					if update, err := Decode([]byte(text)); err == nil && update.Generation <= tt.want {
+					if update, err := Decode([]byte(text), "test"); err == nil && update.Generation <= tt.want {
 						want = append(want, update)
 					}
 				}
--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"log/slog"
-	"net"
-	"time"
 
 	"coralrelay/balance"
 )
@@ -35,9 +32,9 @@
 
 // message is the JSON form of an update. Reset is set for a complete list.
 type message struct {
-	Generation *int64            `json:"generation"`
-	Reset      bool              `json:"reset"`
-	Instances  []json.RawMessage `json:"instances"`
+	Generation *int64    `json:"generation"`
+	Reset      bool      `json:"reset"`
+	Instances  entryList `json:"instances"`
 }
 
 // messageError is the reason why a message that is well-formed JSON cannot be used.
@@ -45,92 +42,37 @@
 
 func (e *messageError) Error() string { return "list: " + e.reason }
 
-// instance is the JSON form of an endpoint.
-type instance struct {
-	ID          string `json:"instanceId"`
-	HostPort    string `json:"hostPort"`
-	Zone        string `json:"zone"`
-	Cell        int    `json:"cell"`
-	Lifecycle   string `json:"lifecycle"`
-	StartedAtMs int64  `json:"startedAtMs"`
-}
-
-var lifecycleStates = map[string]balance.ServerState{
-	"active":  balance.Ready,
-	"leaving": balance.Draining,
-	"left":    balance.Gone,
-}
-
-// Decode decodes a message. It fails if the message as a whole is malformed. A malformed entry is
-// logged and does not invalidate the rest of the list: an endpoint whose state cannot be read
-// counts as draining and is not used. In a complete list an entry without an ID is skipped, which
-// has the same effect. Among changes such an entry makes the whole message malformed, as it is
-// unknown which endpoint has changed.
-func Decode(raw []byte) (Update, error) {
-	var decoded message
+// Decode decodes a message from a source, which errors name. It fails if the message as a whole is
+// malformed or too large. A malformed entry is logged and does not invalidate the rest of the list: an
+// endpoint whose state cannot be read counts as draining and is not used. In a complete list an entry
+// without an ID is skipped, which has the same effect. Among changes such an entry makes the whole
+// message malformed, as it is unknown which endpoint has changed.
+func Decode(raw []byte, source string) (Update, error) {
+	decoded := message{Instances: entryList{max: defaultLimits.Endpoints, peer: source}}
 	if err := json.Unmarshal(raw, &decoded); err != nil {
 		return Update{}, fmt.Errorf("list: %w", err)
 	}
-	return decoded.update()
+	update, err := decoded.update()
+	if err == nil {
+		decoded.Instances.logMalformed()
+	}
+	return update, err
 }
 
 // update converts the message; see Decode.
 func (m *message) update() (Update, error) {
-	if m.Generation == nil {
+	list := &m.Instances
+	switch {
+	case m.Generation == nil:
 		return Update{}, &messageError{"missing generation"}
+	case m.Reset && !list.present: // unlike an empty list, which is valid
+		return Update{}, &messageError{"missing instances"}
+	case !m.Reset && list.skipped.count > 0:
+		return Update{}, &messageError{"change without a readable instanceId: " + list.skipped.first.Error()}
 	}
-	if m.Reset && m.Instances == nil {
-		return Update{}, &messageError{"missing instances"} // unlike an empty list, which is valid
-	}
-	update := Update{Kind: balance.ListDelta, Generation: *m.Generation}
+	update := Update{Kind: balance.ListDelta, Generation: *m.Generation, Endpoints: list.endpoints}
 	if m.Reset {
 		update.Kind = balance.ListFull
 	}
-	for _, raw := range m.Instances {
-		endpoint, err := decodeEndpoint(raw)
-		switch {
-		case err == nil:
-			update.Endpoints = append(update.Endpoints, endpoint)
-		case endpoint.ID == "" && !m.Reset:
-			return Update{}, &messageError{"change without a readable instanceId: " + err.Error()}
-		case endpoint.ID != "":
-			slog.Warn("malformed endpoint list entry, endpoint not used", "component", "discovery", "error", err)
-			update.Endpoints = append(update.Endpoints, endpoint)
-		default:
-			slog.Warn("malformed endpoint list entry skipped", "component", "discovery", "error", err)
-		}
-	}
 	return update, nil
 }
-
-// decodeEndpoint decodes an entry. For an endpoint that is draining or gone only the ID is needed;
-// the other fields may be malformed. If it fails, it also returns a draining endpoint, whose ID is
-// empty if it could not be read.
-func decodeEndpoint(raw json.RawMessage) (Endpoint, error) {
-	var decoded instance
-	decodeErr := json.Unmarshal(raw, &decoded)
-	state, ok := lifecycleStates[decoded.Lifecycle]
-	unreadable := Endpoint{ServerEntry: balance.ServerEntry{ID: decoded.ID, State: balance.Draining}}
-	switch {
-	case decodeErr != nil && (!ok || state == balance.Ready):
-		return unreadable, fmt.Errorf("entry %.80q: %w", raw, decodeErr)
-	case !ok || decoded.ID == "":
-		return unreadable, fmt.Errorf("entry %.80q: unknown lifecycle or missing instanceId", raw)
-	}
-	if _, _, err := net.SplitHostPort(decoded.HostPort); err != nil {
-		if state == balance.Ready {
-			return unreadable, fmt.Errorf("entry %s: hostPort: %w", decoded.ID, err)
-		}
-		decoded.HostPort = "" // keeps the known address
-	}
-	return Endpoint{
-		Addr: decoded.HostPort,
-		ServerEntry: balance.ServerEntry{
-			ID:        decoded.ID,
-			Zone:      decoded.Zone,
-			Cell:      decoded.Cell,
-			State:     state,
-			StartedAt: time.Duration(decoded.StartedAtMs) * time.Millisecond,
-		},
-	}, nil
-}
--- a/internal/discovery/update_test.go
+++ b/internal/discovery/update_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	fullList := func(instances string) string {
 		return `{"generation":43,"reset":true,"instances":[` + instances + "," + drainingInstance + `]}`
 	}
+	tooLong := strings.Repeat("x", maxFieldBytes+1)
 	skipped := Update{Kind: balance.ListFull, Generation: 43, Endpoints: []Endpoint{s2}}
 	kept := Update{Kind: balance.ListDelta, Generation: 43, Endpoints: []Endpoint{s9, s2}}
 	tests := []struct {
@@ -57,13 +59,20 @@
 		{"wrong type", changes(`{"instanceId":"s9","hostPort":"h:1","lifecycle":"active","cell":"x"}`), kept},
 		{"draining, without an address", changes(`{"instanceId":"s9","lifecycle":"leaving"}`), kept},
 		{"draining, wrong type", changes(`{"instanceId":"s9","lifecycle":"leaving","cell":"x"}`), kept},
+		{"long id among changes", changes(`{"instanceId":"` + tooLong + `","hostPort":"h:1","lifecycle":"active"}`), Update{}},
+		{"long id in a complete list", fullList(`{"instanceId":"` + tooLong + `","hostPort":"h:1","lifecycle":"active"}`), skipped},
+		{"long address", changes(`{"instanceId":"s9","hostPort":"` + tooLong + `:1","lifecycle":"active"}`), kept},
+		{"long zone of a draining endpoint", changes(`{"instanceId":"s9","zone":"` + tooLong + `","lifecycle":"leaving"}`), kept},
+		{"list is an object", `{"generation":43,"instances":{}}`, Update{}},
+		{"list is null among changes", `{"generation":42,"instances":null}`, Update{Kind: balance.ListDelta, Generation: 42}},
+		{"complete list that is null", `{"generation":42,"reset":true,"instances":null}`, Update{}},
 		{"no generation", `{"instances":[]}`, Update{}},
 		{"complete list without instances", `{"generation":44,"reset":true}`, Update{}},
 		{"invalid JSON", `{`, Update{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			got, err := Decode([]byte(tt.raw))
+			got, err := Decode([]byte(tt.raw), "test")
 			if (err == nil) != (tt.want.Generation != 0) || err == nil && !reflect.DeepEqual(got, tt.want) {
 				t.Errorf("got %+v, %v\nwant %+v", got, err, tt.want)
 			}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -59,6 +59,7 @@
 	nextReason     callReason // reason for the next call
 	needsFullList  bool       // the next call requests a complete list: changes may be unusable again
 	startTimes     startTimeConverter
+	listed         endpointSet
 	calls          []*call // ongoing calls, at most two; all but the last have been reported as failed
 	callGroup      sync.WaitGroup
 	lease          *listlease.Lease
@@ -121,6 +122,7 @@
 	w.expiry = time.NewTimer(listlease.NotifyDelay)
 	defer w.expiry.Stop()
 	w.startLease(cached)
+	w.listed.apply(&cached)
 	w.startTimes.convert(w.Now(), &cached, false)
 	w.sink.UpdateEndpoints(cached)
 	for {
--- a/internal/inputlimit/inputlimit.go
+++ b/internal/inputlimit/inputlimit.go
@@ -14,16 +14,20 @@
 
 // The limits, grouped by peer.
 const (
-	DiscoveryHead    Limit = iota // bytes of the status line and the header of a response
-	DiscoveryRate                 // bytes of a response, over time
-	DiscoveryUpdates              // messages and heartbeats on a watch, over time
-	DiscoveryMessage              // bytes of a message
+	DiscoveryHead        Limit = iota // bytes of the status line and the header of a response
+	DiscoveryRate                     // bytes of a response, over time
+	DiscoveryUpdates                  // messages and heartbeats on a watch, over time
+	DiscoveryMessage                  // bytes of a message
+	DiscoveryMessageTime              // time in which a message has to arrive, in milliseconds
+	DiscoveryEntries                  // entries of a message, and of all messages over time
+	DiscoveryEndpoints                // endpoints in the list that the messages add up to
 
 	Count // number of limits
 )
 
 var names = [Count]string{
-	"discovery_head", "discovery_rate", "discovery_updates", "discovery_message",
+	"discovery_head", "discovery_rate", "discovery_updates", "discovery_message", "discovery_message_time",
+	"discovery_entries", "discovery_endpoints",
 }
 
 // String returns the name of the limit in metrics and log lines.
