--- a/cmd/coralctl/account.go
+++ b/cmd/coralctl/account.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 
 	"coralrelay/internal/fleet/account"
 	"coralrelay/internal/fleet/logentry"
+	"coralrelay/internal/inputlimit"
 )
 
 // accountCmd implements "account", the commands on accounts, teams, grants and signing keys.
@@ -94,7 +94,7 @@
 }
 
 func (c *accountApplyCmd) Run() error {
-	raw, err := os.ReadFile(c.File)
+	raw, err := inputlimit.ReadFile(c.File, logentry.MaxSize)
 	if err != nil {
 		return err
 	}
--- a/cmd/coralctl/config.go
+++ b/cmd/coralctl/config.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 
+	"coralrelay/internal/inputlimit"
+	"coralrelay/internal/operatorconfig"
 	"coralrelay/internal/operatorconfig/schema"
 )
 
@@ -12,10 +14,10 @@
 	File string `arg:"" help:"The operator's file, CUE or JSON."`
 }
 
-// exportJSON returns the file as complete JSON. The error is an *os.PathError if the file can't be
-// read, and names the line and the key if the file is invalid.
+// exportJSON returns the file as complete JSON. The error is an *os.PathError or an *inputlimit.Error if the
+// file can't be read, and names the line and the key if the file is invalid.
 func (a *configFileArg) exportJSON() ([]byte, error) {
-	source, err := os.ReadFile(a.File)
+	source, err := inputlimit.ReadFile(a.File, operatorconfig.MaxFileBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 
 	"coralrelay/balance"
 	"coralrelay/internal/discovery"
+	"coralrelay/internal/inputlimit"
 	"coralrelay/internal/settings"
 )
 
@@ -40,6 +40,7 @@
 
 // Defaults and limits.
 const (
+	maxFileBytes    = 16 << 20 // of the file: an endpoint list and the settings
 	defaultCores    = 1.0
 	defaultMemoryMB = 256
 	defaultSockets  = 1024
@@ -83,7 +84,7 @@
 	if path == "" {
 		return Config{}, errors.New(fileVariable + ": not set")
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := inputlimit.ReadFile(path, maxFileBytes)
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", fileVariable, err)
 	}
--- a/internal/fleet/gossip/config.go
+++ b/internal/fleet/gossip/config.go
@@ -4,11 +4,12 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"coralrelay/internal/inputlimit"
 )
 
 // Config configures the transport of a member, and how it joins the other members.
@@ -22,9 +23,12 @@
 	LogOutput        io.Writer     // receives memberlist's own log
 }
 
+// maxKeyFileBytes is the size of the largest key file that is read.
+const maxKeyFileBytes = 4096
+
 // ReadKey reads the encryption key from a file that holds 32, 48 or 64 hexadecimal digits.
 func ReadKey(path string) ([]byte, error) {
-	raw, err := os.ReadFile(path)
+	raw, err := inputlimit.ReadFile(path, maxKeyFileBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/inputlimit/inputlimit.go
+++ b/internal/inputlimit/inputlimit.go
@@ -19,16 +19,17 @@
 	DiscoveryUpdates                  // messages and heartbeats on a watch, over time
 	DiscoveryMessage                  // bytes of a message
 	DiscoveryMessageTime              // time in which a message has to arrive, in milliseconds
-	DiscoveryEntries                  // entries of a message, and of all messages over time
+	DiscoveryEntries                  // entries of a message
 	DiscoveryEndpoints                // endpoints in the list that the messages add up to
-	AgentUpdate                       // bytes of an update or a lease of the agent, over all its parts
+	AgentUpdate                       // bytes of an update of the agent, over all its parts
+	File                              // bytes of a file
 
 	Count // number of limits
 )
 
 var names = [Count]string{
 	"discovery_head", "discovery_rate", "discovery_updates", "discovery_message", "discovery_message_time",
-	"discovery_entries", "discovery_endpoints", "agent_update",
+	"discovery_entries", "discovery_endpoints", "agent_update", "file",
 }
 
 // String returns the name of the limit in metrics and log lines.
--- a/internal/inputlimit/inputlimit_test.go
+++ b/internal/inputlimit/inputlimit_test.go
@@ -1,6 +1,9 @@
 package inputlimit
 
 import (
+	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -25,3 +28,20 @@
 		t.Errorf("%d names for %d limits", len(names), Count)
 	}
 }
+
+// A file is read whole up to its limit, and no further than one byte beyond it: also one without an end.
+func TestReadFileIsLimited(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte("12345"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := ReadFile(path, 5); err != nil || string(text) != "12345" {
+		t.Errorf("at the limit: %q, %v", text, err)
+	}
+	for _, path := range []string{path, "/dev/zero"} {
+		limitErr := (*Error)(nil)
+		if _, err := ReadFile(path, 4); !errors.As(err, &limitErr) || *limitErr != (Error{File, path, 5, 4}) {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
--- a/internal/keyfile/format.go
+++ b/internal/keyfile/format.go
@@ -3,10 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
+
+	"coralrelay/internal/inputlimit"
 )
 
 const (
@@ -78,9 +79,7 @@
 	case info.Mode().Perm()&forbiddenPermissions != 0:
 		return "", fmt.Errorf("mode %04o: accessible by others, want %04o",
 			info.Mode().Perm(), filePermissions)
-	case info.Size() > maxFileSize:
-		return "", fmt.Errorf("size of %d bytes is too large for a key file", info.Size())
 	}
-	text, err := io.ReadAll(io.LimitReader(file, maxFileSize))
+	text, err := inputlimit.ReadAll(file, inputlimit.File, path, maxFileSize)
 	return string(text), err
 }
--- a/internal/operatorconfig/load.go
+++ b/internal/operatorconfig/load.go
@@ -13,15 +13,17 @@
 	"slices"
 	"strings"
 	"time"
+
+	"coralrelay/internal/inputlimit"
 )
 
-// maxFileBytes is the maximum size of the file.
-const maxFileBytes = 1 << 20
+// MaxFileBytes is the maximum size of the file.
+const MaxFileBytes = 1 << 20
 
 // Load reads and checks the file at path. It decodes JSON itself. For a CUE file it runs coralctl,
 // from the directory of this program, which ends before Load returns.
 func Load(path string) (File, error) {
-	raw, err := readFile(path)
+	raw, err := inputlimit.ReadFile(path, MaxFileBytes)
 	if err != nil {
 		return File{}, fmt.Errorf("--config: %w", err)
 	}
@@ -37,19 +39,6 @@
 	return f, nil
 }
 
-func readFile(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = f.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(f, maxFileBytes+1))
-	if err == nil && len(raw) > maxFileBytes {
-		err = fmt.Errorf("%s: file is larger than %d bytes", path, maxFileBytes)
-	}
-	return raw, err
-}
-
 // Parse decodes and checks JSON. Missing keys keep their defaults. An unknown key is an error.
 func Parse(raw []byte) (File, error) {
 	f := Default()
--- a/internal/store/lock.go
+++ b/internal/store/lock.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -66,9 +67,14 @@
 
 // readOwner returns the contents of the owner file, or "" if it cannot be read.
 func readOwner(path string) string {
-	text, err := os.ReadFile(ownerPath(path))
+	file, err := os.Open(ownerPath(path))
 	if err != nil {
 		return ""
 	}
-	return strings.TrimSpace(string(text[:min(len(text), maxOwnerBytes)]))
+	defer func() { _ = file.Close() }()
+	text, err := io.ReadAll(io.LimitReader(file, maxOwnerBytes))
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
 }
