Soak: discovery's answers without an end, and the peak of each node's memory

The fault discovery_starves has three more forms: a status line, header lines and a list that do not end. At the end of a run the most resident memory that each process has had must be within its memory_mb, for which the platform would have killed it (memory_peak_mb). The two copies that read a process's memory are one, in testbed.

--- a/internal/scenario/demo/demo.go
+++ b/internal/scenario/demo/demo.go
@@ -155,7 +155,7 @@
 	}
 	d.printf("%g connections placed, %g busy answers, %g moved, node at %.1f MB\n",
 		d.observer.Metric("UP"), d.observer.Metric("BUSY"), d.observer.Metric("moved"),
-		d.node.ResidentMemory()/1e6)
+		float64(d.node.Process.ResidentMemory())/1e6)
 }
 
 // printf writes to Options.Out. It ignores errors, because there is no other output to report them on.
--- a/internal/scenario/soak/discoveryfaults.go
+++ b/internal/scenario/soak/discoveryfaults.go
@@ -9,6 +9,7 @@
 // noListTroubles are the ways in which discovery calls fail to return a list.
 var noListTroubles = []fake.DiscoveryFault{
 	fake.Unanswered, fake.LateUnavailable, fake.HeaderOnly, fake.TruncatedList, fake.MalformedList,
+	fake.EndlessStatus, fake.EndlessHeader, fake.EndlessList,
 }
 
 // playDiscoveryFault plays a fault of discovery itself. If two such faults overlap at a node, the
--- a/internal/scenario/soak/levels.go
+++ b/internal/scenario/soak/levels.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strings"
 
 	"golang.org/x/sync/errgroup"
 
@@ -23,7 +21,7 @@
 // recordLevels records the nodes' memory before the faults.
 func (r *run) recordLevels() {
 	for _, n := range r.nodes {
-		memory := residentMemory(n.currentProcess())
+		memory := float64(n.currentProcess().ResidentMemory())
 		r.Metrics["memory_before_mb"] = max(r.Metrics["memory_before_mb"], memory/1e6)
 	}
 }
@@ -39,26 +37,25 @@
 			r.AddViolation("descriptors", fmt.Sprintf("%s holds %d descriptors without clients, %d allowed",
 				process.Name, process.Descriptors(), limit))
 		}
-		memory := residentMemory(process) / 1e6
+		memory := float64(process.ResidentMemory()) / 1e6
 		r.SetMetric("memory_after_mb", max(r.Metric("memory_after_mb"), memory))
 		if allowed := memoryFactor*r.Metric("memory_before_mb") + memoryAllowance/1e6; memory > allowed {
 			r.AddViolation("memory", fmt.Sprintf("%s uses %.1f MB of memory, %.1f allowed",
 				process.Name, memory, allowed))
 		}
+		r.checkPeakMemory(process)
 	}
 }
 
-// residentMemory returns a process's resident memory in bytes, or 0 if it cannot be read.
-func residentMemory(process *testbed.Process) float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", process.Pid()))
-	if err != nil {
-		return 0
+// checkPeakMemory checks that a process has never been over its memory limit, for which the platform
+// would have killed it.
+func (r *run) checkPeakMemory(process *testbed.Process) {
+	peak := process.PeakMemory()
+	r.SetMetric("memory_peak_mb", max(r.Metric("memory_peak_mb"), float64(peak)/1e6))
+	if peak > nodeMemoryMB<<20 {
+		r.AddViolation("memory", fmt.Sprintf("%s has used %d MiB of memory, %d allowed",
+			process.Name, peak>>20, nodeMemoryMB))
 	}
-	var size, resident int64 // in pages
-	if _, err := fmt.Sscan(strings.TrimSpace(string(raw)), &size, &resident); err != nil {
-		return 0
-	}
-	return float64(resident * int64(os.Getpagesize()))
 }
 
 // endNodes terminates all nodes by SIGTERM and waits for their end.
--- a/internal/scenario/soak/nodeconfig.go
+++ b/internal/scenario/soak/nodeconfig.go
@@ -19,6 +19,9 @@
 "limits":{"connectTimeout":0.25,"maxRetryAfter":1,"mostTries":6,"probing":true,"retryAfter":true},
 "registryMode":"on_request","report":{"via":"probe"},"weights":"rough","zone":"a"}`
 
+// nodeMemoryMB is the memory limit of a node in MiB.
+const nodeMemoryMB = 192
+
 // deadlines are the maximum deadlines of the deployments that the seed selects from. A short
 // deadline makes killDelay short.
 var deadlines = []time.Duration{1200 * time.Millisecond, 400 * time.Millisecond, 1200 * time.Millisecond}
@@ -51,9 +54,9 @@
 
 func (n *node) writeConfig() error {
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x",`+
-		`"limits":{"cores":1,"memory_mb":192,"sockets":%d},"settings":%s}`,
+		`"limits":{"cores":1,"memory_mb":%d,"sockets":%d},"settings":%s}`,
 		nodeName(n.number), n.addr, n.discoveries[n.discovery],
-		n.run.Options.Seed*1000+uint64(n.number), nodeSockets,
+		n.run.Options.Seed*1000+uint64(n.number), nodeMemoryMB, nodeSockets,
 		fmt.Sprintf(nodeSettings, n.run.Nodes, n.number, n.run.deadline().Seconds()))
 	return os.WriteFile(n.configFile(), []byte(text), 0o600)
 }
--- a/internal/scenario/testbed/node.go
+++ b/internal/scenario/testbed/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -97,16 +96,3 @@
 		return fmt.Errorf("%s did not exit within 5 s of SIGTERM", n.Process.Name)
 	}
 }
-
-// ResidentMemory returns the node's resident memory in bytes, or 0 if it can't be read.
-func (n *Node) ResidentMemory() float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.Process.Pid()))
-	if err != nil {
-		return 0
-	}
-	var size, resident int64 // pages
-	if _, err := fmt.Sscan(string(raw), &size, &resident); err != nil {
-		return 0
-	}
-	return float64(resident * int64(os.Getpagesize()))
-}
--- a/internal/scenario/udp/shortflows.go
+++ b/internal/scenario/udp/shortflows.go
@@ -53,7 +53,7 @@
 			running = false
 		case <-time.After(memoryInterval):
 		}
-		bytes := r.node.ResidentMemory()
+		bytes := float64(r.node.Process.ResidentMemory())
 		memory.add(float64(started.Load())/float64(r.Flows), bytes)
 		r.showProgress(started.Load(), bytes)
 	}
