--- a/internal/discovery/endless_test.go
+++ b/internal/discovery/endless_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// Whatever a response consists of, and whatever part of it is repeated without an end, the call ends after a
+// limited number of bytes and holds little memory.
+func FuzzEndlessResponse(f *testing.F) {
+	for _, response := range endlessResponses {
+		f.Add(response.first, response.next(1))
+	}
+	f.Fuzz(func(t *testing.T, first, part string) {
+		if part == "" {
+			return
+		}
+		pipe, far := net.Pipe()
+		defer far.Close()
+		conn := &endlessConn{Conn: pipe, first: first, next: repeated(part)}
+		heldBefore := heapBytes()
+		readEndless(t, conn)
+		read, held := conn.read.Load(), conn.heldMost.Load()-heldBefore
+		if read > bodyMost || held > maxHeldBytes+int64(len(part)) {
+			t.Errorf("read %d bytes, want at most %d; held %d, want at most %d", read, bodyMost, held, maxHeldBytes)
+		}
+	})
+}
+
 // readEndless makes a call that is answered on the connection, and returns when the call has failed.
 func readEndless(t *testing.T, conn net.Conn) {
 	t.Helper()
