TestSIGHUPAppliesSettings: spoil the deadline, not the node's address

The test made a file invalid by replacing the first "1.2" in it by "-5", which is meant for the deadline. About one process in 40 has such an address. The key is part of what is replaced now; the check is as strict, and holds whatever the address.

--- a/cmd/coralrelay/activeconfig_test.go
+++ b/cmd/coralrelay/activeconfig_test.go
@@ -77,7 +77,7 @@
 	}
 
 	elsewhere := discovery("of an invalid file")
-	bad := strings.Replace(both, "1.2", "-5", 1)
+	bad := strings.Replace(both, `"deadline":1.2`, `"deadline":-5`, 1)
 	bad = strings.Replace(bad, `"discovery":"`, `"discovery":"`+elsewhere+`","was":"`, 1)
 	for i, text := range []string{bad, "", bad[:len(bad)/2], strings.Replace(both, `"mostTries":6,`, "", 1)} {
 		reload(text, 1, i+1)
