--- a/internal/scenario/zones/checks.go
+++ b/internal/scenario/zones/checks.go
@@ -63,7 +63,7 @@
 	evacuatedAt := s.watcher.evacuatedAt(e.zone, e.faultAt)
 	firstAt := s.firstByObservingZone(e, evacuatedAt)
 	if len(firstAt) == 0 {
-		s.violationf("leave", "%s: no node had evacuated zone %s %v after the fault",
+		s.violationf("evacuate", "%s: no node had evacuated zone %s %v after the fault",
 			e.phase, e.zone, time.Since(e.faultAt).Round(time.Millisecond))
 	}
 	s.checkSpread(e, evacuatedAt, firstAt)
