Replicated log: the buffer of a message grows with what arrives

What could be seen: a member that announces a state of 64 MiB and sends nothing made its peer allocate all of it, for each connection that follows an upstream.

Cause: readMessage allocated the declared length, which had a limit of 64 MiB. Change: the buffer begins with 64 KiB at the most and grows as bytes arrive. The format and the limits stay; TestStoredStateMessage passes unchanged.

TestMessageBufferGrowsWithItsData failed before: 67,108,864 bytes allocated after 0, 1 and 102,400 bytes received, at most 1 MiB is wanted.

--- a/internal/fleet/replog/messages.go
+++ b/internal/fleet/replog/messages.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -44,6 +45,7 @@
 	messageHeaderSize = 5 // the kind and the payload's length
 	entryHeaderSize   = 8 + len(logentry.Hash{})
 
+	initialPayloadSize  = 64 << 10 // of the buffer for a payload, which grows with what arrives
 	maxStateSize        = 64 << 20
 	maxControlSize      = 64 << 10 // of a JSON payload
 	maxEntryMessageSize = entryHeaderSize + logentry.MaxSize
@@ -144,11 +146,21 @@
 	if uint64(size) > uint64(maxSize) {
 		return 0, nil, fmt.Errorf("message %q of %d bytes, at most %d are accepted", kind, size, maxSize)
 	}
-	payload = make([]byte, size)
-	_, err = io.ReadFull(reader, payload)
+	payload, err = readPayload(reader, int(size))
 	return kind, payload, err
 }
 
+// readPayload reads a payload of the given size. A peer that only announces it takes little memory.
+func readPayload(reader io.Reader, size int) ([]byte, error) {
+	var payload bytes.Buffer
+	payload.Grow(min(size, initialPayloadSize) + bytes.MinRead) // with room in which ReadFrom sees the end
+	received, err := payload.ReadFrom(io.LimitReader(reader, int64(size)))
+	if err == nil && received < int64(size) {
+		err = io.ErrUnexpectedEOF
+	}
+	return payload.Bytes(), err
+}
+
 // readJSON reads a message of kind want and decodes its JSON payload into value.
 func readJSON(reader io.Reader, want messageKind, value any) error {
 	kind, payload, err := readMessage(reader, maxControlSize)
