Scenarios: parties behind the proxy listen on ports below the ephemeral range

What was seen: 3 of 24 plays of scenario zones, three side by side, could not run: "party s0: listen tcp 127.0.7.1:35083: bind: address already in use"; in one play beside a build an agent never answered.

Cause: the proxy and the agents behind it use IP addresses that all scenarios share, with ports that the system chose from the range of outgoing connections. The proxy closes such a port while a party is down, and an agent's is reserved and closed until it starts; another run may take it meanwhile.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -26,11 +26,15 @@
 	return &count
 }()
 
-// Listen opens a TCP listener on an address that was not allocated before.
-func Listen() (listener net.Listener, err error) {
+// Listen opens a TCP listener on an address of this process that was not allocated before.
+func Listen() (net.Listener, error) { return ListenOn(processIP()) }
+
+// ListenOn opens a TCP listener on an IP address that other processes may use too, with a port that this
+// process has not allocated before.
+func ListenOn(ip string) (listener net.Listener, err error) {
 	for range maxTries {
 		port := lowestPort + int(allocated.Add(1))%(ephemeralPort-lowestPort)
-		if listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", processIP(), port)); err == nil {
+		if listener, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port)); err == nil {
 			return listener, nil
 		}
 	}
--- a/internal/scenario/faultproxy/party.go
+++ b/internal/scenario/faultproxy/party.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/netip"
+
+	"coralrelay/internal/loopback"
 )
 
 // maxStreams limits the concurrent streams of a listener; further ones are closed.
@@ -47,8 +49,8 @@
 }
 
 // Add adds a party that listens on the address target, on TCP and UDP, and sends from the IP of
-// target. It returns the address at which the other parties reach it: the given IP with a port chosen
-// by the system. A party may be added for several addresses of one IP.
+// target. It returns the address at which the other parties reach it: the given IP with a port of its
+// own. A party may be added for several addresses of one IP.
 func (p *Proxy) Add(name, target, ip string) (addr string, err error) {
 	targetAddr, err := netip.ParseAddrPort(target)
 	if err != nil {
@@ -85,7 +87,7 @@
 
 // addListener opens a listener without accepting streams.
 func (p *Proxy) addListener(name, client, target, ip string) (*listener, error) {
-	tcpListener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	tcpListener, err := loopback.ListenOn(ip)
 	if err != nil {
 		return nil, fmt.Errorf("party %s: %w", name, err)
 	}
--- a/internal/scenario/testbed/agent.go
+++ b/internal/scenario/testbed/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 
@@ -81,7 +80,7 @@
 // its own. The number is the last byte of that address and must be in the range 1 to 250. The party
 // must listen on bind; the other parties reach it at advertise.
 func (bed *Testbed) AddProxiedAddress(name string, number int) (bind, advertise string, err error) {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.5.%d:0", number))
+	listener, err := loopback.ListenOn(fmt.Sprintf("127.0.5.%d", number))
 	if err != nil {
 		return "", "", err
 	}
