--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -35,11 +35,12 @@
 // NodeOptions describes a node.
 type NodeOptions struct {
 	Name         string
-	Number, Of   int    // number of this node, from 0, and how many there are
-	Discovery    string // its address
-	Classes      string // JSON, separated by commas; empty for DefaultClasses
-	OperatorFile string // JSON; empty for none
-	Sockets      int    // limits.sockets; 0 for 1024
+	Number, Of   int      // number of this node, from 0, and how many there are
+	Discovery    string   // its address
+	Classes      string   // JSON, separated by commas; empty for DefaultClasses
+	OperatorFile string   // JSON; empty for none
+	Sockets      int      // limits.sockets; 0 for 1024
+	Log          *os.File // the node's standard output and error; nil for a file
 }
 
 // Node is a node that runs as a separate process.
@@ -77,9 +78,11 @@
 		}
 		run += " --config " + path
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
-	if err != nil {
-		return nil, err
+	log := options.Log
+	if log == nil {
+		if log, err = os.Create(filepath.Join(dir, "log")); err != nil {
+			return nil, err
+		}
 	}
 	n.cmd = exec.Command("/bin/sh", "-c", run)
 	n.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+n.configFile, "TMPDIR="+tmp)
@@ -96,6 +99,16 @@
 	return n, n.awaitReady()
 }
 
+// HasEnded reports whether the node's process has ended, and how.
+func (n *Node) HasEnded() (ended bool, state string) {
+	select {
+	case <-n.ended:
+		return true, n.cmd.ProcessState.String()
+	default:
+		return false, ""
+	}
+}
+
 // WriteConfig writes the platform's configuration file with the given classes.
 func (n *Node) WriteConfig(classes string) error {
 	if classes == "" {
--- a/review/rig/stage.go
+++ b/review/rig/stage.go
@@ -21,6 +21,8 @@
 // StageOptions describes a stage.
 type StageOptions struct {
 	Feeds int
+	// LinesOnly leaves the operator's file out, so that the node forwards no datagrams.
+	LinesOnly bool
 	// UDP has further keys of the operator's udp section, as JSON that begins with a comma.
 	UDP     string
 	Node    NodeOptions   // without what the stage fills in
@@ -50,7 +52,9 @@
 	}
 	node := options.Node
 	node.Name, node.Of, node.Discovery = "n0", 2, s.Discovery.Addr
-	node.OperatorFile = fmt.Sprintf(`{"udp":{"listen":%q%s}}`, s.UDPAddr, options.UDP)
+	if !options.LinesOnly {
+		node.OperatorFile = fmt.Sprintf(`{"udp":{"listen":%q%s}}`, s.UDPAddr, options.UDP)
+	}
 	if s.Node, err = StartNode(c, node); err != nil {
 		return nil, err
 	}
