--- a/review/rig/box.go
+++ b/review/rig/box.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"coralrelay/internal/loopback"
 )
 
 // BoxOptions describes a box.
@@ -49,7 +51,9 @@
 
 // NewBox starts a box.
 func NewBox(c *Case, id string, options BoxOptions) (*Box, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// The port is below those that the system gives to other connections, so that it is still free when the
+	// box starts again.
+	listener, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
